--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Every target sets itself up first: a virtual environment with pinned packages.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+LIBS := core packets flows placement membership agreement storage settings daemons lab
+EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
+SEED ?= 1
+RUNS ?= 2000
+
+.PHONY: setup demo test lint types format check bench soak trial docs clean
+
+setup: $(VENV)/stamp
+
+$(VENV)/stamp: constraints.txt $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt setuptools wheel
+	$(BIN)/pip install -q -c constraints.txt --no-build-isolation $(EDITABLE) ruff mypy pytest pytest-trio hypothesis
+	touch $@
+
+demo: setup
+	$(BIN)/python scripts/demo.py
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+types: setup
+	$(BIN)/mypy $(foreach lib,$(LIBS),libs/$(lib)/src)
+
+check: lint types test
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/libs/core/src/kumquatmux_core/__init__.py
@@ -0,0 +1,3 @@
+"""Shared types of kumquatmux: identities, segments, hashing, codec, decision lines."""
+
+from __future__ import annotations
--- /dev/null
+++ b/libs/core/tests/test_codec.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatmux_core.codec import registry
+
+
+class Ping(NamedTuple):
+    number: int
+    text: str = ""
+
+
+class PingLater(NamedTuple):
+    number: int
+    text: str = ""
+    added: int = 0
+
+
+OLD = registry({1: Ping})
+NEW = registry({1: PingLater})
+
+
+def test_a_message_survives_the_trip():
+    assert OLD.decode(OLD.encode(Ping(3, "x"))).ok == Ping(3, "x")
+
+
+def test_fields_of_a_newer_sender_are_tolerated():
+    assert OLD.decode(NEW.encode(PingLater(3, "x", 9))).ok == Ping(3, "x")
+
+
+def test_fields_an_older_sender_lacks_take_their_defaults():
+    assert NEW.decode(OLD.encode(Ping(3, "x"))).ok == PingLater(3, "x", 0)
+
+
+def test_bad_messages_are_named():
+    cases = {
+        b"": "message-short",
+        b"\x09\x00\x01\x90": "message-version",
+        b"\x01\x00\x63\x90": "message-kind",
+        b"\x01\x00\x01\x01": "message-shape",
+        b"\x01\x00\x01\x90": "message-body",
+        b"\x01\x00\x01\x91\xa1x": "message-body",
+    }
+    seen = {data: OLD.decode(data).error.code for data in cases}
+    assert seen == cases
+
+
+@given(st.binary(max_size=64))
+def test_no_bytes_crash_the_decoder(data):
+    assert OLD.decode(data).is_ok() or OLD.decode(data).is_error()
--- /dev/null
+++ b/libs/core/tests/test_rendezvous.py
@@ -0,0 +1,23 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatmux_core.rendezvous import first, rank
+
+MEMBERS = st.sets(st.text("abcdef", min_size=1, max_size=3), min_size=1, max_size=8)
+
+
+@given(st.binary(max_size=16), MEMBERS)
+def test_losing_the_first_promotes_the_second(key, members):
+    order = rank(key, members)
+    assert rank(key, members - {order[0]}) == order[1:]
+
+
+@given(st.binary(max_size=16), MEMBERS)
+def test_first_agrees_with_rank(key, members):
+    assert first(key, members) == rank(key, members)[0]
+
+
+def test_no_members_has_no_first():
+    assert first(b"k", []) is None
--- /dev/null
+++ b/libs/lab/src/kumquatmux_lab/__init__.py
@@ -0,0 +1,3 @@
+"""Load, experiments, fault runs and plots for kumquatmux."""
+
+from __future__ import annotations
--- /dev/null
+++ b/libs/placement/src/kumquatmux_placement/__init__.py
@@ -0,0 +1,3 @@
+"""Admission and placement of work on backend servers, free of I/O."""
+
+from __future__ import annotations
--- /dev/null
+++ b/libs/settings/src/kumquatmux_settings/__init__.py
@@ -0,0 +1,3 @@
+"""The settings tree, its schema, changes, undo and distribution."""
+
+from __future__ import annotations
--- /dev/null
+++ b/libs/storage/src/kumquatmux_storage/__init__.py
@@ -0,0 +1,3 @@
+"""Durable files: checksummed segments, snapshots and the vote record."""
+
+from __future__ import annotations
