--- a/libs/core/src/kumquatmux_core/identity.py
+++ b/libs/core/src/kumquatmux_core/identity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import NamedTuple, NewType
 
 VmId = NewType("VmId", str)
@@ -17,7 +18,13 @@
 """The name of a backend server, written ``ip:port``."""
 
 FlowKey = NewType("FlowKey", bytes)
-"""13 bytes: protocol, caller IP and port, service IP and port, big endian."""
+"""13 bytes: protocol, caller IP, service IP, caller port, service port, big endian.
+
+The last 12 bytes stand in this order in a packet from a caller.
+"""
+
+Address = NewType("Address", bytes)
+"""6 bytes: IPv4 number and port, big endian, as they stand in a packet."""
 
 
 class Endpoint(NamedTuple):
@@ -35,6 +42,17 @@
         """Return ``ip:port``."""
         return f"{self.ip}:{self.port}"
 
+    @property
+    def packed(self) -> Address:
+        """The endpoint as 6 bytes."""
+        return Address(ipaddress.IPv4Address(self.ip).packed + self.port.to_bytes(2))
+
+
+def unpack_endpoint(address: Address) -> Endpoint:
+    """Return the endpoint that 6 bytes stand for."""
+    number = str(ipaddress.IPv4Address(address[:4]))
+    return Endpoint(number, int.from_bytes(address[4:]))
+
 
 class Vm(NamedTuple):
     """One VM of the system as its peers know it.
