Read, rewrite and pass packets at fixed offsets

Cause: the data path needs packets without a full parse. Result: 20 tests, each rewritten checksum equal to the one dpkt computes; every changed envelope byte is refused.

--- /dev/null
+++ b/libs/packets/src/kumquatmux_packets/answers.py
@@ -0,0 +1,122 @@
+"""Packets the system makes itself: resets, refusals and keepalive probes."""
+
+from __future__ import annotations
+
+import dpkt
+
+from kumquatmux_core.identity import Address, FlowKey
+from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_SYN, Segment
+
+SEQ_MASK = 0xFFFFFFFF
+TIME_TO_LIVE = 64
+QUOTED_BYTES = 28
+"""ICMP quotes the IP header and eight bytes of the refused packet (RFC 792)."""
+
+
+def refuse_caller(segment: Segment) -> bytes:
+    """Return the answer that refuses a caller's packet.
+
+    A TCP segment gets a reset whose sequence number the caller accepts (RFC 9293,
+    section 3.10.7.1), a datagram gets ICMP port unreachable.
+    """
+    if segment.is_tcp:
+        return _refuse_tcp(segment)
+    return _refuse_udp(segment)
+
+
+def reset_server(key: FlowKey, server: Address, seq: int) -> bytes:
+    """Return a reset to the server in the caller's name."""
+    return _tcp(
+        source=caller_address(key),
+        target=server,
+        flags=dpkt.tcp.TH_RST,
+        seq=seq,
+        ack=0,
+    )
+
+
+def probe_server(key: FlowKey, server: Address, seq: int, ack: int) -> bytes:
+    """Return a keepalive probe to the server in the caller's name."""
+    return _tcp(
+        source=caller_address(key),
+        target=server,
+        flags=dpkt.tcp.TH_ACK,
+        seq=seq,
+        ack=ack,
+    )
+
+
+def probe_caller(key: FlowKey, seq: int, ack: int) -> bytes:
+    """Return a keepalive probe to the caller in the service's name."""
+    return _tcp(
+        source=service_address(key),
+        target=caller_address(key),
+        flags=dpkt.tcp.TH_ACK,
+        seq=seq,
+        ack=ack,
+    )
+
+
+def caller_address(key: FlowKey) -> Address:
+    """Return the caller's address of a flow."""
+    return Address(key[1:5] + key[9:11])
+
+
+def service_address(key: FlowKey) -> Address:
+    """Return the service's address of a flow."""
+    return Address(key[5:9] + key[11:13])
+
+
+def _refuse_tcp(segment: Segment) -> bytes:
+    if segment.flags & FLAG_ACK:
+        flags, seq, ack = dpkt.tcp.TH_RST, segment.ack, 0
+    else:
+        length = segment.payload_length
+        length += bool(segment.flags & FLAG_SYN) + bool(segment.flags & FLAG_FIN)
+        flags = dpkt.tcp.TH_RST | dpkt.tcp.TH_ACK
+        seq, ack = 0, segment.seq + length & SEQ_MASK
+    return _tcp(
+        source=service_address(segment.key),
+        target=caller_address(segment.key),
+        flags=flags,
+        seq=seq,
+        ack=ack,
+    )
+
+
+def _refuse_udp(segment: Segment) -> bytes:
+    quoted = dpkt.icmp.ICMP.Unreach(data=segment.packet[:QUOTED_BYTES])
+    icmp = dpkt.icmp.ICMP(
+        type=dpkt.icmp.ICMP_UNREACH,
+        code=dpkt.icmp.ICMP_UNREACH_PORT,
+        data=quoted,
+    )
+    packet = dpkt.ip.IP(
+        src=segment.key[5:9],
+        dst=segment.key[1:5],
+        p=dpkt.ip.IP_PROTO_ICMP,
+        ttl=TIME_TO_LIVE,
+        data=icmp,
+    )
+    packet.len = len(packet)
+    return bytes(packet)
+
+
+def _tcp(*, source: Address, target: Address, flags: int, seq: int, ack: int) -> bytes:
+    tcp = dpkt.tcp.TCP(
+        sport=int.from_bytes(source[4:]),
+        dport=int.from_bytes(target[4:]),
+        seq=seq & SEQ_MASK,
+        ack=ack & SEQ_MASK,
+        flags=flags,
+        win=0,
+    )
+    packet = dpkt.ip.IP(
+        src=bytes(source[:4]),
+        dst=bytes(target[:4]),
+        p=dpkt.ip.IP_PROTO_TCP,
+        ttl=TIME_TO_LIVE,
+        data=tcp,
+    )
+    packet.len = len(packet)
+    return bytes(packet)
--- /dev/null
+++ b/libs/packets/src/kumquatmux_packets/layout.py
@@ -0,0 +1,30 @@
+"""Byte offsets of the fields that are read or rewritten in place.
+
+Only IPv4 headers without options are carried, so every offset is fixed. Sources: RFC
+791 (IPv4), RFC 9293 (TCP), RFC 768 (UDP).
+"""
+
+from __future__ import annotations
+
+VERSION_AND_LENGTH = 0x45
+IP_HEADER_BYTES = 20
+UDP_HEADER_BYTES = 8
+TCP_HEADER_BYTES = 20
+
+TOTAL_LENGTH = 2
+FRAGMENT = 6
+FRAGMENT_MASK = 0x3FFF
+PROTOCOL = 9
+IP_CHECKSUM = 10
+SOURCE_IP = 12
+TARGET_IP = 16
+SOURCE_PORT = 20
+TARGET_PORT = 22
+KEY_END = 24
+TCP_SEQ = 24
+TCP_ACK = 28
+TCP_DATA_OFFSET = 32
+TCP_FLAGS = 33
+TCP_CHECKSUM = 36
+UDP_CHECKSUM = 26
+"""A UDP checksum of zero means that the sender made none."""
--- /dev/null
+++ b/libs/packets/src/kumquatmux_packets/reading.py
@@ -0,0 +1,114 @@
+"""Packets read into segments, and every malformed one refused with a reason."""
+
+from __future__ import annotations
+
+from expression import Error, Ok, Result
+
+from kumquatmux_core.identity import Address, FlowKey
+from kumquatmux_core.problems import Problem
+from kumquatmux_core.segments import PROTOCOL_TCP, PROTOCOL_UDP, Segment
+from kumquatmux_packets import layout
+
+
+def check(packet: bytes) -> Problem | None:
+    """Return what is wrong with an IPv4 packet, or None when it can be carried."""
+    if len(packet) < layout.IP_HEADER_BYTES + layout.UDP_HEADER_BYTES:
+        return Problem("packet-short", f"packet of {len(packet)} bytes")
+    if packet[0] != layout.VERSION_AND_LENGTH:
+        return Problem("packet-version", "not IPv4 without options")
+    if int.from_bytes(packet[2:4]) != len(packet):
+        return Problem("packet-length", "total length differs from the datagram")
+    if int.from_bytes(packet[6:8]) & layout.FRAGMENT_MASK:
+        return Problem("packet-fragment", "fragments are not carried")
+    if packet[layout.PROTOCOL] == PROTOCOL_TCP:
+        return _check_tcp(packet)
+    if packet[layout.PROTOCOL] == PROTOCOL_UDP:
+        return _check_udp(packet)
+    return Problem("packet-protocol", f"protocol {packet[layout.PROTOCOL]}")
+
+
+def _check_tcp(packet: bytes) -> Problem | None:
+    if len(packet) < layout.IP_HEADER_BYTES + layout.TCP_HEADER_BYTES:
+        return Problem("packet-short", f"TCP packet of {len(packet)} bytes")
+    header_bytes = _tcp_header_bytes(packet)
+    if header_bytes < layout.TCP_HEADER_BYTES:
+        return Problem("packet-tcp-offset", f"TCP header of {header_bytes} bytes")
+    if layout.IP_HEADER_BYTES + header_bytes > len(packet):
+        return Problem("packet-tcp-offset", "TCP header runs past the packet")
+    return None
+
+
+def _check_udp(packet: bytes) -> Problem | None:
+    if int.from_bytes(packet[24:26]) != len(packet) - layout.IP_HEADER_BYTES:
+        return Problem("packet-udp-length", "UDP length differs from the packet")
+    return None
+
+
+def caller_key(packet: bytes) -> FlowKey:
+    """Return the flow key of a checked packet from a caller."""
+    return FlowKey(
+        packet[layout.PROTOCOL : layout.PROTOCOL + 1]
+        + packet[layout.SOURCE_IP : layout.KEY_END]
+    )
+
+
+def reply_key(packet: bytes, service: Address) -> FlowKey:
+    """Return the flow key of a checked packet from a server of a service."""
+    return FlowKey(
+        packet[layout.PROTOCOL : layout.PROTOCOL + 1]
+        + packet[layout.TARGET_IP : layout.SOURCE_PORT]
+        + service[:4]
+        + packet[layout.TARGET_PORT : layout.KEY_END]
+        + service[4:]
+    )
+
+
+def source_address(packet: bytes) -> Address:
+    """Return the source IP number and port of a checked packet."""
+    return Address(
+        packet[layout.SOURCE_IP : layout.TARGET_IP]
+        + packet[layout.SOURCE_PORT : layout.TARGET_PORT]
+    )
+
+
+def target_address(packet: bytes) -> Address:
+    """Return the target IP number and port of a checked packet."""
+    return Address(
+        packet[layout.TARGET_IP : layout.SOURCE_PORT]
+        + packet[layout.TARGET_PORT : layout.KEY_END]
+    )
+
+
+def segment(key: FlowKey, packet: bytes) -> Segment:
+    """Return what the decisions need of a checked packet."""
+    if packet[layout.PROTOCOL] != PROTOCOL_TCP:
+        payload_length = len(packet) - layout.IP_HEADER_BYTES - layout.UDP_HEADER_BYTES
+        return Segment(key, 0, 0, 0, payload_length, packet)
+    return Segment(
+        key=key,
+        flags=packet[layout.TCP_FLAGS],
+        seq=int.from_bytes(packet[24:28]),
+        ack=int.from_bytes(packet[28:32]),
+        payload_length=len(packet) - layout.IP_HEADER_BYTES - _tcp_header_bytes(packet),
+        packet=packet,
+    )
+
+
+def read_caller(packet: bytes) -> Result[Segment, Problem]:
+    """Return the segment of a packet from a caller, or why it is refused."""
+    problem = check(packet)
+    if problem is not None:
+        return Error(problem)
+    return Ok(segment(caller_key(packet), packet))
+
+
+def read_reply(packet: bytes, service: Address) -> Result[Segment, Problem]:
+    """Return the segment of a packet from a server, seen from the caller's side."""
+    problem = check(packet)
+    if problem is not None:
+        return Error(problem)
+    return Ok(segment(reply_key(packet, service), packet))
+
+
+def _tcp_header_bytes(packet: bytes) -> int:
+    return (packet[layout.TCP_DATA_OFFSET] >> 4) * 4
--- /dev/null
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -0,0 +1,92 @@
+"""Addresses rewritten in place, with checksums adjusted by differences (RFC 1624)."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import Address
+from kumquatmux_core.segments import PROTOCOL_TCP
+from kumquatmux_packets import layout
+
+WORD_MASK = 0xFFFF
+
+
+class Rewrite(NamedTuple):
+    """One address replaced by another, with what it adds to each checksum.
+
+    Attributes:
+        ip: The new IP number, 4 bytes.
+        port: The new port, 2 bytes.
+        ip_difference: What the IP header's one's complement sum gains.
+        transport_difference: What the TCP or UDP sum gains.
+    """
+
+    ip: bytes
+    port: bytes
+    ip_difference: int
+    transport_difference: int
+
+
+def plan_rewrite(old: Address, new: Address) -> Rewrite:
+    """Return the rewrite from one address to another."""
+    ip_difference = _difference(old[:4], new[:4])
+    port_difference = _difference(old[4:], new[4:])
+    return Rewrite(
+        ip=bytes(new[:4]),
+        port=bytes(new[4:]),
+        ip_difference=ip_difference,
+        transport_difference=_fold(ip_difference + port_difference),
+    )
+
+
+def rewrite_target(packet: bytes, rewrite: Rewrite) -> bytearray:
+    """Return a packet with its target replaced."""
+    changed = bytearray(packet)
+    changed[16:20] = rewrite.ip
+    changed[22:24] = rewrite.port
+    _adjust(changed, rewrite)
+    return changed
+
+
+def rewrite_source(packet: bytes, rewrite: Rewrite) -> bytearray:
+    """Return a packet with its source replaced."""
+    changed = bytearray(packet)
+    changed[12:16] = rewrite.ip
+    changed[20:22] = rewrite.port
+    _adjust(changed, rewrite)
+    return changed
+
+
+def _adjust(packet: bytearray, rewrite: Rewrite) -> None:
+    total = (~(packet[10] << 8 | packet[11]) & WORD_MASK) + rewrite.ip_difference
+    total = ~((total & WORD_MASK) + (total >> 16)) & WORD_MASK
+    packet[10] = total >> 8
+    packet[11] = total & 0xFF
+    if packet[9] == PROTOCOL_TCP:
+        at = layout.TCP_CHECKSUM
+        old = packet[at] << 8 | packet[at + 1]
+    else:
+        at = layout.UDP_CHECKSUM
+        old = packet[at] << 8 | packet[at + 1]
+        if old == 0:
+            return
+    total = (~old & WORD_MASK) + rewrite.transport_difference
+    total = ~((total & WORD_MASK) + (total >> 16)) & WORD_MASK
+    if total == 0 and at == layout.UDP_CHECKSUM:
+        total = WORD_MASK
+    packet[at] = total >> 8
+    packet[at + 1] = total & 0xFF
+
+
+def _difference(old: bytes, new: bytes) -> int:
+    total = 0
+    for at in range(0, len(old), 2):
+        total += ~int.from_bytes(old[at : at + 2]) & WORD_MASK
+        total += int.from_bytes(new[at : at + 2])
+    return _fold(total)
+
+
+def _fold(total: int) -> int:
+    while total > WORD_MASK:
+        total = (total & WORD_MASK) + (total >> 16)
+    return total
--- /dev/null
+++ b/libs/packets/tests/test_packets.py
@@ -0,0 +1,169 @@
+from __future__ import annotations
+
+import dpkt
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatmux_core.identity import Endpoint
+from kumquatmux_core.segments import FLAG_ACK, FLAG_SYN, PROTOCOL_TCP, PROTOCOL_UDP
+from kumquatmux_flows.events import Binding, Passing, Stage
+from kumquatmux_packets import answers, envelope, reading
+from kumquatmux_packets.rewriting import plan_rewrite, rewrite_source, rewrite_target
+
+CALLER = Endpoint("127.67.0.9", 40001)
+SERVICE = Endpoint("127.66.0.50", 80)
+SERVER = Endpoint("127.66.1.7", 9001)
+ENDPOINTS = st.builds(
+    Endpoint,
+    st.ip_addresses(v=4).map(str),
+    st.integers(1, 0xFFFF),
+)
+KEY = bytes(range(16))
+
+
+def tcp_packet(source, target, *, flags=FLAG_ACK, seq=1, ack=2, payload=b""):
+    tcp = dpkt.tcp.TCP(
+        sport=source.port, dport=target.port, flags=flags, seq=seq, ack=ack
+    )
+    tcp.data = payload
+    return ip_packet(source, target, PROTOCOL_TCP, tcp)
+
+
+def udp_packet(source, target, payload=b""):
+    udp = dpkt.udp.UDP(sport=source.port, dport=target.port, data=payload)
+    udp.ulen = len(udp)
+    return ip_packet(source, target, PROTOCOL_UDP, udp)
+
+
+def ip_packet(source, target, protocol, data):
+    packet = dpkt.ip.IP(
+        src=source.packed[:4], dst=target.packed[:4], p=protocol, ttl=64, data=data
+    )
+    packet.len = len(packet)
+    return bytes(packet)
+
+
+def checksums_hold(packet):
+    """Tell whether dpkt, given no checksums, computes the ones in the packet."""
+    fresh = dpkt.ip.IP(packet)
+    fresh.sum = 0
+    fresh.data.sum = 0
+    return bytes(fresh) == bytes(packet)
+
+
+@given(ENDPOINTS, ENDPOINTS, ENDPOINTS, st.binary(max_size=40))
+def test_rewriting_keeps_checksums_right(caller, service, server, payload):
+    for packet in (
+        tcp_packet(caller, service, payload=payload),
+        udp_packet(caller, service, payload),
+    ):
+        changed = rewrite_target(packet, plan_rewrite(service.packed, server.packed))
+        assert reading.target_address(bytes(changed)) == server.packed
+        assert checksums_hold(bytes(changed))
+        changed = rewrite_source(packet, plan_rewrite(caller.packed, server.packed))
+        assert reading.source_address(bytes(changed)) == server.packed
+        assert checksums_hold(bytes(changed))
+
+
+def test_a_udp_packet_without_checksum_stays_without():
+    packet = bytearray(udp_packet(CALLER, SERVICE, b"x"))
+    packet[26:28] = b"\0\0"
+    rewrite = plan_rewrite(SERVICE.packed, SERVER.packed)
+    assert rewrite_target(bytes(packet), rewrite)[26:28] == b"\0\0"
+
+
+def test_both_directions_give_one_key():
+    there = reading.read_caller(tcp_packet(CALLER, SERVICE, payload=b"abc")).ok
+    back = reading.read_reply(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
+    assert there.key == back.key
+    assert (there.seq, there.ack, there.payload_length) == (1, 2, 3)
+    assert answers.caller_address(there.key) == CALLER.packed
+    assert answers.service_address(there.key) == SERVICE.packed
+
+
+GOOD = tcp_packet(CALLER, SERVICE)
+
+
+def changed_at(at, value, packet=GOOD):
+    return packet[:at] + bytes([value]) + packet[at + 1 :]
+
+
+@pytest.mark.parametrize(
+    ("packet", "code"),
+    [
+        (b"", "packet-short"),
+        (GOOD[:39], "packet-length"),
+        (changed_at(0, 0x46), "packet-version"),
+        (changed_at(3, 99), "packet-length"),
+        (changed_at(6, 0x20), "packet-fragment"),
+        (changed_at(7, 0x01), "packet-fragment"),
+        (changed_at(9, 47), "packet-protocol"),
+        (changed_at(32, 0x10), "packet-tcp-offset"),
+        (changed_at(32, 0xF0), "packet-tcp-offset"),
+        (changed_at(25, 99, udp_packet(CALLER, SERVICE)), "packet-udp-length"),
+    ],
+)
+def test_malformed_packets_are_named(packet, code):
+    assert reading.read_caller(packet).error.code == code
+
+
+@given(st.binary(max_size=80))
+def test_no_bytes_crash_the_reader(data):
+    result = reading.read_caller(data)
+    assert result.is_ok() or result.error.code.startswith("packet-")
+
+
+def test_a_refused_syn_gets_a_reset_its_caller_accepts():
+    segment = reading.read_caller(
+        tcp_packet(CALLER, SERVICE, flags=FLAG_SYN, seq=0xFFFFFFFF, ack=0)
+    ).ok
+    reset = dpkt.ip.IP(answers.refuse_caller(segment))
+    assert reset.data.flags == dpkt.tcp.TH_RST | dpkt.tcp.TH_ACK
+    assert reset.data.ack == 0
+    assert reset.src == SERVICE.packed[:4]
+
+
+def test_a_refused_segment_gets_a_reset_at_its_acknowledgement():
+    segment = reading.read_caller(tcp_packet(CALLER, SERVICE, ack=77)).ok
+    reset = dpkt.ip.IP(answers.refuse_caller(segment))
+    assert (reset.data.flags, reset.data.seq) == (dpkt.tcp.TH_RST, 77)
+
+
+def test_a_refused_datagram_gets_port_unreachable():
+    packet = udp_packet(CALLER, SERVICE, b"hello")
+    answer = dpkt.ip.IP(answers.refuse_caller(reading.read_caller(packet).ok))
+    assert (answer.data.type, answer.data.code) == (3, 3)
+    assert bytes(answer.data.data.data)[:28] == packet[:28]
+
+
+PASSINGS = st.builds(
+    Passing,
+    st.sampled_from(Stage),
+    st.integers(0, 255),
+    st.none()
+    | st.builds(
+        Binding,
+        st.just(SERVER.packed),
+        st.integers(0, 2**64 - 1),
+        st.integers(0, 2**32 - 1),
+    ),
+)
+
+
+@given(PASSINGS)
+def test_an_envelope_survives_the_trip(passing):
+    opened = envelope.unseal(envelope.seal(passing, GOOD, key=KEY), key=KEY).ok
+    assert opened == envelope.Passed(passing, GOOD)
+
+
+@given(st.integers(0, envelope.HEADER_BYTES + 39), st.integers(1, 255))
+def test_a_changed_envelope_is_refused(at, difference):
+    sealed = bytearray(envelope.seal(Passing(Stage.STORE), GOOD, key=KEY))
+    sealed[at] ^= difference
+    assert envelope.unseal(bytes(sealed), key=KEY).is_error()
+
+
+@given(st.binary(max_size=80))
+def test_no_bytes_crash_the_envelope(data):
+    assert envelope.unseal(data, key=KEY).is_error()
