Name the fabric and the packet key in a node's settings

Cause: an entry VM has to know where packets leave by and the key that shows a passed packet is a VM's own. Change: two options, required for entry. Result: the settings tests pass with both.

--- a/libs/settings/src/kumquatmux_settings/node.py
+++ b/libs/settings/src/kumquatmux_settings/node.py
@@ -23,7 +23,7 @@
 from kumquatmux_settings.options import File, Option, check, default_of
 
 GROUP_OR_WORLD_READABLE = 0o044
-SECRET_FILES = ("secret_key_file", "tls_key_file", "token_file")
+SECRET_FILES = ("secret_key_file", "packet_key_file", "tls_key_file", "token_file")
 
 
 class Peer(NamedTuple):
@@ -58,10 +58,12 @@
         role: ``entry`` or ``control``.
         control: TCP endpoint for messages between processes.
         packets: UDP endpoint for packets, entry only.
+        fabric: UDP endpoint packets leave by, entry only.
         http: HTTPS endpoint for announcements, entry only.
         operators: HTTPS endpoint of the operators' API, control only.
         data_folder: Folder of the settings log, control only.
         secret_key_file: CURVE secret key of this process.
+        packet_key_file: Key entry VMs share for passed packets, entry only.
         tls_certificate_file: Certificate of the HTTPS endpoints.
         tls_key_file: Private key of that certificate.
         token_file: Hashes of the operators' tokens, control only.
@@ -77,10 +79,12 @@
     role: str
     control: Endpoint
     packets: Endpoint | None = None
+    fabric: Endpoint | None = None
     http: Endpoint | None = None
     operators: Endpoint | None = None
     data_folder: Path | None = None
     secret_key_file: Path | None = None
+    packet_key_file: Path | None = None
     tls_certificate_file: Path | None = None
     tls_key_file: Path | None = None
     token_file: Path | None = None
--- a/libs/settings/src/kumquatmux_settings/node_schema.py
+++ b/libs/settings/src/kumquatmux_settings/node_schema.py
@@ -21,11 +21,13 @@
     Address(
         "packets", None, "UDP endpoint for packets from the fabric and from peers."
     ),
+    Address("fabric", None, "UDP endpoint of the fabric that packets leave by."),
     Address("control", None, "TCP endpoint for messages between processes."),
     Address("http", None, "HTTPS endpoint where backend servers announce themselves."),
     Address("operators", None, "HTTPS endpoint of the operators' API."),
     File("data_folder", None, "Folder on a disk for the replicated settings log."),
     File("secret_key_file", None, "File with this process's CURVE secret key."),
+    File("packet_key_file", None, "Key that entry VMs share for passed packets, hex."),
     File("tls_certificate_file", None, "Certificate of the HTTPS endpoints, PEM."),
     File("tls_key_file", None, "Private key of that certificate, PEM."),
     File("token_file", None, "TOML file with the SHA-256 hashes of operators' tokens."),
@@ -48,8 +50,10 @@
     "entry": frozenset(
         {
             "packets",
+            "fabric",
             "http",
             "secret_key_file",
+            "packet_key_file",
             "tls_certificate_file",
             "tls_key_file",
         }
--- a/libs/settings/tests/test_node.py
+++ b/libs/settings/tests/test_node.py
@@ -19,6 +19,8 @@
 secret_key_file = "node.secret"
 tls_certificate_file = "node.pem"
 tls_key_file = "node.key"
+fabric = "10.0.0.254:4500"
+packet_key_file = "packet.key"
 
 [[peers]]
 vm = "cnx-b-1"
@@ -59,10 +61,10 @@
     ('vm = "cnx-a-1"\n', "\n", "missing", "vm", None),
     ('role = "entry"', 'role = "both"', "value", "role", 5),
     ('tls_key_file = "node.key"', "", "missing", "tls_key_file", None),
-    ('vm = "cnx-b-1"', 'vm = "cnx-a-1"', "duplicate", "peers[0].vm", 14),
-    ('"10.0.1.1:4600"', '"10.0.0.1:4600"', "duplicate", "peers[0].control", 17),
-    (f'["{KEY}"]', '["short"]', "value", "peers[0].public_keys", 18),
-    ('operators = "10.0.0.9:4800"', "", "missing", "peers[1].operators", 20),
+    ('vm = "cnx-b-1"', 'vm = "cnx-a-1"', "duplicate", "peers[0].vm", 16),
+    ('"10.0.1.1:4600"', '"10.0.0.1:4600"', "duplicate", "peers[0].control", 19),
+    (f'["{KEY}"]', '["short"]', "value", "peers[0].public_keys", 20),
+    ('operators = "10.0.0.9:4800"', "", "missing", "peers[1].operators", 22),
 ]
 
 
@@ -96,7 +98,7 @@
     path = tmp_path / "node.toml"
     path.write_text(ENTRY)
     assert {p.code for p in load_node(path).error} == {"file-missing"}
-    for name in ("node.secret", "node.pem", "node.key"):
+    for name in ("node.secret", "node.pem", "node.key", "packet.key"):
         (tmp_path / name).write_text("x")
         (tmp_path / name).chmod(0o600)
     (tmp_path / "node.key").chmod(0o644)
