--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: packets in, decisions, packets out."""
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Message links between the processes of the system."""
