Place work late and by exact slots

Cause: the entry daemon needs a placer to integrate against. Change: Admission holds work while every slot is busy, short before long, and refuses it at its deadline; slots, connections, shedding, cold start, zones, retry budget and take-over digests are counted per backend server.

--- /dev/null
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -0,0 +1,340 @@
+"""Admission and placement of work on backend servers."""
+
+from __future__ import annotations
+
+import random
+from functools import singledispatchmethod
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import ServerId, ServiceName
+from kumquatmux_placement.backend import Flow, ServerLoad
+from kumquatmux_placement.choice import Choice
+from kumquatmux_placement.events import (
+    Adopted,
+    Answered,
+    Cancel,
+    Cancelled,
+    Closed,
+    Event,
+    Held,
+    LoadReported,
+    Outcome,
+    OutcomeLost,
+    Placed,
+    Refused,
+    ServersChanged,
+    Shed,
+    SizeClass,
+    SlotDigest,
+    Started,
+    Submit,
+    Tick,
+    Unknown,
+    Work,
+)
+from kumquatmux_placement.memory import EndedWork
+from kumquatmux_placement.pool import Pool
+from kumquatmux_placement.settings import PlacementSettings
+from kumquatmux_placement.waiting import Waiting
+
+
+class Admission:
+    """Places work of any number of services, late and by exact slots.
+
+    Attributes:
+        settings: Settings of placement.
+        pools: What is known by service.
+        flows: Placed work whose connection is open.
+        servers: Where each backend server is counted.
+        refused: Work refused not long ago, so that a retry is known as one.
+        lost: Work whose outcome is unknown and that may not be repeated.
+    """
+
+    def __init__(self, settings: PlacementSettings, random: random.Random) -> None:
+        self.settings = settings
+        self.random = random
+        self.pools: dict[ServiceName, Pool] = {}
+        self.flows: dict[bytes, Flow] = {}
+        self.servers: dict[ServerId, ServerLoad] = {}
+        self.refused = EndedWork(settings)
+        self.lost = EndedWork(settings)
+        self.now = float("-inf")
+
+    def handle(self, event: Event, now: float) -> list[Outcome]:
+        """Take in one event and return what it decided.
+
+        Args:
+            event: What happened.
+            now: The time, in seconds; it never goes back.
+
+        Returns:
+            Outcomes for this work and for held work that could now be decided.
+        """
+        self.now = max(now, self.now)
+        outcomes = self.on(event)
+        for outcome in outcomes:
+            self.log(outcome)
+        return outcomes
+
+    def next_deadline(self) -> float:
+        """Return when a ``Tick`` is next needed, in seconds; infinite if never."""
+        deadlines = [pool.next_deadline(self.now) for pool in self.pools.values()]
+        return min(deadlines, default=float("inf"))
+
+    def digest(self, service: ServiceName) -> tuple[SlotDigest, ...]:
+        """Return what the backup of a service has to know, an entry a server."""
+        pool = self.pool(service)
+        pool.expire(self.now)
+        return tuple(load.digest(self.now) for load in pool.loads.values())
+
+    def restore(self, digest: tuple[SlotDigest, ...], now: float) -> None:
+        """Count the slots a lost placer had given until its flows are seen."""
+        self.now = max(now, self.now)
+        for entry in digest:
+            load = self.servers.get(entry.server)
+            if load is not None:
+                load.assume(entry, self.now)
+
+    def pool(self, service: ServiceName) -> Pool:
+        """Return what is known about a service."""
+        if service not in self.pools:
+            self.pools[service] = Pool(self.settings, service, self.random)
+        return self.pools[service]
+
+    @singledispatchmethod
+    def on(self, event: Event) -> list[Outcome]:
+        """Decide about one event at the current time."""
+        raise TypeError(f"no such event: {event!r}")
+
+    @on.register
+    def _(self, event: Submit) -> list[Outcome]:
+        work = event.work
+        pool = self.pool(work.service)
+        pool.expire(self.now)
+        known = self.answer_again(work, pool)
+        if known is not None:
+            return [*known, *self.drain(pool)]
+        outcomes = self.drain(pool)
+        return [*outcomes, self.admit(work, pool)]
+
+    @on.register
+    def _(self, event: Started) -> list[Outcome]:
+        flow = self.flow_on(event.work_id, event.server)
+        if flow is None or event.work_id in flow.load.running:
+            return []
+        flow.load.reserved.pop(event.work_id, None)
+        flow.since = self.now
+        flow.load.running[event.work_id] = flow
+        return []
+
+    @on.register
+    def _(self, event: Answered) -> list[Outcome]:
+        flow = self.flow_on(event.work_id, event.server)
+        if flow is None:
+            return []
+        self.finish(event.work_id, flow, answered=True)
+        return self.drain(self.pool(flow.load.service))
+
+    @on.register
+    def _(self, event: Closed) -> list[Outcome]:
+        flow = self.flows.get(event.work_id)
+        if flow is None or flow.load.server.server != event.server:
+            return []
+        self.finish(event.work_id, flow, answered=False)
+        self.forget(event.work_id, flow)
+        return self.drain(self.pool(flow.load.service))
+
+    @on.register
+    def _(self, event: Adopted) -> list[Outcome]:
+        load = self.servers.get(event.server)
+        if load is None or event.work_id in self.flows:
+            return []
+        self.bind(event.work_id, Flow(load, "", SizeClass.UNKNOWN, False))
+        return []
+
+    @on.register
+    def _(self, event: Shed) -> list[Outcome]:
+        flow = self.flows.get(event.work_id)
+        if flow is None or flow.load.server.server != event.server:
+            return []
+        flow.load.shed(self.now)
+        return self.lose(event.work_id, flow)
+
+    @on.register
+    def _(self, event: Cancel) -> list[Outcome]:
+        for pool in self.pools.values():
+            if pool.line.remove(event.work_id) is not None:
+                return [Cancelled(event.work_id, pool.service)]
+        return []
+
+    @on.register
+    def _(self, event: OutcomeLost) -> list[Outcome]:
+        flow = self.flows.get(event.work_id)
+        if flow is not None:
+            return self.lose(event.work_id, flow)
+        withdrawn = self.on(Cancel(event.work_id))
+        if not withdrawn:
+            self.lost.add(event.work_id, self.now)
+        return withdrawn
+
+    @on.register
+    def _(self, event: ServersChanged) -> list[Outcome]:
+        pool = self.pool(event.service)
+        pool.change(event.servers)
+        for name, load in pool.loads.items():
+            self.servers[name] = load
+        for name, load in list(self.servers.items()):
+            if load.service == event.service and name not in pool.loads:
+                del self.servers[name]
+        return self.drain(pool)
+
+    @on.register
+    def _(self, event: LoadReported) -> list[Outcome]:
+        load = self.servers.get(event.server)
+        if load is not None:
+            load.hear(event, self.now)
+        return []
+
+    @on.register
+    def _(self, event: Tick) -> list[Outcome]:
+        outcomes: list[Outcome] = []
+        for pool in self.pools.values():
+            if pool.line:
+                outcomes += self.drain(pool)
+        return outcomes
+
+    def answer_again(self, work: Work, pool: Pool) -> list[Outcome] | None:
+        """Return the outcome of work that was submitted before, if it was."""
+        flow = self.flows.get(work.work_id)
+        if flow is not None:
+            server = flow.load.server.server
+            placed = Placed(
+                work.work_id, work.service, server, "already-placed", 1, 0.0
+            )
+            return [placed]
+        waiting = pool.line.get(work.work_id)
+        if waiting is not None:
+            return [Held(work.work_id, work.service, waiting.until)]
+        if not work.repeatable and self.lost.holds(work.work_id, self.now):
+            return [Unknown(work.work_id, work.service, ServerId(""))]
+        return None
+
+    def admit(self, work: Work, pool: Pool) -> Outcome:
+        """Place, hold or refuse new work."""
+        size = pool.history.expect(work)
+        retry = work.attempt > 0 or self.refused.holds(work.work_id, self.now)
+        if not retry:
+            pool.budget.earn()
+        if not self.is_behind(size, pool):
+            choice = pool.choose(size, self.now, self.now)
+            if choice is not None:
+                return self.place(Waiting(work, size, self.now, self.now), choice)
+        refusal = self.refusal(work, pool, retry=retry)
+        if refusal:
+            return self.refuse(work, refusal, self.now)
+        until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
+        pool.line.add(Waiting(work, size, self.now, until))
+        return Held(work.work_id, work.service, until)
+
+    def is_behind(self, size: SizeClass, pool: Pool) -> bool:
+        """Return whether work held earlier goes before new work of that size."""
+        ahead = pool.line.short
+        return bool(ahead) or (size is SizeClass.LONG and bool(pool.line.long))
+
+    def refusal(self, work: Work, pool: Pool, *, retry: bool) -> str:
+        """Return why work cannot be held, empty if it can."""
+        if not any(load.is_open(self.now) for load in pool.loads.values()):
+            return "no-server"
+        if len(pool.line) >= self.settings.queue_limit:
+            return "queue-full"
+        hold_s = self.settings.hold_ms / 1000.0
+        if pool.expected_wait(self.now) > min(hold_s, work.deadline - self.now):
+            return "wait-too-long"
+        if retry and not pool.budget.spend():
+            return "retry-budget"
+        return ""
+
+    def drain(self, pool: Pool) -> list[Outcome]:
+        """Refuse held work whose time is over and place what can be placed."""
+        pool.expire(self.now)
+        outcomes: list[Outcome] = []
+        if not pool.line:
+            return outcomes
+        while (found := pool.next_to_place(self.now)) is not None:
+            waiting, choice = found
+            pool.line.remove(waiting.work.work_id)
+            outcomes.append(self.place(waiting, choice))
+        for waiting in pool.line.expired(self.now):
+            outcomes.append(self.refuse(waiting.work, "held-too-long", waiting.since))
+        return outcomes
+
+    def place(self, waiting: Waiting, choice: Choice) -> Outcome:
+        """Bind work to a server for good and take a slot for it."""
+        work = waiting.work
+        flow = Flow(choice.load, work.caller, waiting.size, work.repeatable)
+        self.bind(work.work_id, flow)
+        flow.since = self.now
+        choice.load.reserved[work.work_id] = flow
+        return Placed(
+            work.work_id,
+            work.service,
+            choice.load.server.server,
+            choice.reason,
+            choice.candidates,
+            self.now - waiting.since,
+        )
+
+    def refuse(self, work: Work, reason: str, since: float) -> Outcome:
+        """Refuse work of which nothing was forwarded."""
+        self.refused.add(work.work_id, self.now)
+        return Refused(work.work_id, work.service, reason, self.now - since)
+
+    def bind(self, work_id: bytes, flow: Flow) -> None:
+        """Count the connection of placed work."""
+        self.flows[work_id] = flow
+        flow.load.connections += 1
+
+    def flow_on(self, work_id: bytes, server: ServerId) -> Flow | None:
+        """Return the flow of some work, adopted if it was not known."""
+        flow = self.flows.get(work_id)
+        if flow is not None:
+            return flow if flow.load.server.server == server else None
+        load = self.servers.get(server)
+        if load is None:
+            return None
+        flow = Flow(load, "", SizeClass.UNKNOWN, False)
+        self.bind(work_id, flow)
+        return flow
+
+    def finish(self, work_id: bytes, flow: Flow, *, answered: bool) -> None:
+        """Free the slot of some work and learn from its run time."""
+        load = flow.load
+        load.reserved.pop(work_id, None)
+        if load.running.pop(work_id, None) is None:
+            return
+        run_s = self.now - flow.since
+        if answered:
+            load.backoff_s = 0.0
+            self.pool(load.service).history.learn(flow.caller, run_s)
+
+    def forget(self, work_id: bytes, flow: Flow) -> None:
+        """Stop counting the connection of some work."""
+        del self.flows[work_id]
+        flow.load.connections -= 1
+        self.pool(flow.load.service).tidy(flow.load)
+
+    def lose(self, work_id: bytes, flow: Flow) -> list[Outcome]:
+        """End placed work whose fate is not known."""
+        self.finish(work_id, flow, answered=False)
+        self.forget(work_id, flow)
+        if not flow.repeatable:
+            self.lost.add(work_id, self.now)
+        unknown = Unknown(work_id, flow.load.service, flow.load.server.server)
+        return [unknown, *self.drain(self.pool(flow.load.service))]
+
+    def log(self, outcome: Outcome) -> None:
+        """Write the decision line of one outcome."""
+        name = type(outcome).__name__.lower()
+        fields = outcome._asdict()
+        fields["work_id"] = outcome.work_id.hex()
+        decisions.log(name, **fields, revision=self.settings.revision)
--- /dev/null
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -0,0 +1,165 @@
+"""What a placer knows of one backend server."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from kumquatmux_core.identity import ServiceName
+from kumquatmux_placement.events import (
+    LoadReported,
+    Server,
+    ServerState,
+    SizeClass,
+    SlotDigest,
+)
+from kumquatmux_placement.settings import PlacementSettings
+
+
+class Flow:
+    """Work that was placed and the slot it holds.
+
+    Attributes:
+        load: The backend server it is bound to.
+        caller: Who asked.
+        size: Its expected size.
+        repeatable: Whether it may be run a second time.
+        since: When it took its slot, in seconds.
+    """
+
+    __slots__ = ("load", "caller", "size", "repeatable", "since")
+
+    def __init__(
+        self, load: ServerLoad, caller: str, size: SizeClass, repeatable: bool
+    ) -> None:
+        self.load = load
+        self.caller = caller
+        self.size = size
+        self.repeatable = repeatable
+        self.since = 0.0
+
+
+class ServerLoad:
+    """Slots and connections of one backend server, as its placer counts them.
+
+    Attributes:
+        server: The server as last announced.
+        service: The service it works for.
+        reserved: Placed work that has not started, oldest first.
+        running: Started work without an answer, oldest first.
+        assumed: When each slot taken by a lost placer counts as free, in seconds.
+        connections: Open connections.
+        blocked_until: When the pause after shedding ends, in seconds.
+        backoff_s: Length of the last such pause, in seconds.
+        suspected_until: Until when its own report says it is busier, in seconds.
+    """
+
+    def __init__(
+        self, settings: PlacementSettings, service: ServiceName, server: Server
+    ) -> None:
+        self.settings = settings
+        self.server = server
+        self.service = service
+        self.reserved: dict[bytes, Flow] = {}
+        self.running: dict[bytes, Flow] = {}
+        self.assumed: list[float] = []
+        self.connections = 0
+        self.blocked_until = float("-inf")
+        self.backoff_s = 0.0
+        self.suspected_until = float("-inf")
+
+    def expire(self, now: float) -> None:
+        """Free the slots of silent, stuck and assumed work."""
+        reserved_before = now - self.settings.reserve_ms / 1000.0
+        _drop_older(self.reserved, reserved_before)
+        running_before = now - self.settings.stuck_ms / 1000.0
+        _drop_older(self.running, running_before)
+        while self.assumed and self.assumed[0] <= now:
+            self.assumed.pop(0)
+
+    @property
+    def taken(self) -> int:
+        """Slots in use."""
+        return len(self.reserved) + len(self.running) + len(self.assumed)
+
+    def usable(self, now: float) -> int:
+        """Return the slots in use at most, fewer while the server is cold."""
+        warm_s = self.settings.warm_ms / 1000.0
+        age_s = now - self.server.since
+        if age_s >= warm_s:
+            return self.server.slots
+        ramp = self.server.slots * max(age_s, 0.0) / warm_s
+        return min(max(int(ramp), 1), self.server.slots)
+
+    def is_open(self, now: float) -> bool:
+        """Return whether new work may go to the server at all."""
+        return (
+            self.server.state is ServerState.READY
+            and self.blocked_until <= now
+            and self.connections < self.server.connections
+        )
+
+    def free(self, now: float) -> int:
+        """Return how many new pieces of work the server can take."""
+        if not self.is_open(now):
+            return 0
+        return max(self.usable(now) - self.taken, 0)
+
+    def long(self, now: float) -> int:
+        """Return the slots in use by work known or found to be long."""
+        aged_since = now - self.settings.long_ms / 1000.0
+        known = sum(flow.size is SizeClass.LONG for flow in self.reserved.values())
+        return known + sum(
+            flow.size is SizeClass.LONG or flow.since <= aged_since
+            for flow in self.running.values()
+        )
+
+    def shed(self, now: float) -> None:
+        """Pause placing, longer with each shed work in a row."""
+        first_s = self.settings.shed_backoff_ms / 1000.0
+        limit_s = self.settings.shed_backoff_limit_ms / 1000.0
+        self.backoff_s = min(max(self.backoff_s * 2.0, first_s), limit_s)
+        self.blocked_until = now + self.backoff_s
+
+    def hear(self, report: LoadReported, now: float) -> None:
+        """Trust the server less while it says that it is busier than counted."""
+        fresh_s = self.settings.report_fresh_ms / 1000.0 - report.age
+        if report.busy > self.taken:
+            self.suspected_until = now + fresh_s
+
+    def digest(self, now: float) -> SlotDigest:
+        """Return what the backup has to know."""
+        return SlotDigest(
+            self.server.server, self.taken, self.long(now), self.connections
+        )
+
+    def assume(self, digest: SlotDigest, now: float) -> None:
+        """Count the slots that a lost placer had given."""
+        short_until = now + self.settings.assumed_ms / 1000.0
+        long_until = now + self.settings.assumed_long_ms / 1000.0
+        known = len(self.reserved) + len(self.running)
+        short = max(digest.busy - digest.long - known, 0)
+        self.assumed = [short_until] * short + [long_until] * digest.long
+
+    def next_change(self, now: float) -> float:
+        """Return when a slot may become free without an event, in seconds."""
+        times = [self.blocked_until, *self.assumed[:1]]
+        times += _ends(self.reserved.values(), self.settings.reserve_ms)
+        times += _ends(self.running.values(), self.settings.stuck_ms)
+        if self.usable(now) < self.server.slots:
+            step_s = self.settings.warm_ms / 1000.0 / self.server.slots
+            times.append(self.server.since + step_s * (self.usable(now) + 1))
+        return min((time for time in times if time > now), default=float("inf"))
+
+
+def _drop_older(flows: dict[bytes, Flow], before: float) -> None:
+    old = []
+    for work_id, flow in flows.items():
+        if flow.since > before:
+            break
+        old.append(work_id)
+    for work_id in old:
+        del flows[work_id]
+
+
+def _ends(flows: Iterable[Flow], limit_ms: float) -> list[float]:
+    return [flow.since + limit_ms / 1000.0 for flow in flows][:1]
--- /dev/null
+++ b/libs/placement/src/kumquatmux_placement/choice.py
@@ -0,0 +1,71 @@
+"""Which backend server new work goes to."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from kumquatmux_placement.backend import ServerLoad
+from kumquatmux_placement.settings import PlacementSettings
+
+
+class Choice(NamedTuple):
+    """The server picked for some work.
+
+    Attributes:
+        load: The server.
+        reason: Why it was picked, for the decision line.
+        candidates: How many servers could have been picked.
+    """
+
+    load: ServerLoad
+    reason: str
+    candidates: int
+
+
+def choose(
+    loads: Iterable[ServerLoad],
+    settings: PlacementSettings,
+    random: random.Random,
+    now: float,
+    *,
+    may_spill: bool,
+) -> Choice | None:
+    """Return the best server with a free slot, if there is one.
+
+    Args:
+        loads: The servers of the service.
+        settings: Settings of placement.
+        random: Breaks ties.
+        now: The time, in seconds.
+        may_spill: Whether a server in another availability zone will do.
+    """
+    free = [load for load in loads if load.free(now) > 0]
+    near = [load for load in free if is_near(load, settings)]
+    if near:
+        return Choice(_best(near, random, now), "free-slot", len(near))
+    if free and may_spill:
+        return Choice(_best(free, random, now), "spill", len(free))
+    return None
+
+
+def is_near(load: ServerLoad, settings: PlacementSettings) -> bool:
+    """Return whether the server is in this VM's zone, or zones do not matter."""
+    return not settings.zone or load.server.zone == settings.zone
+
+
+def _best(loads: list[ServerLoad], random: random.Random, now: float) -> ServerLoad:
+    return min(loads, key=lambda load: _cost(load, random, now))
+
+
+def _cost(
+    load: ServerLoad, random: random.Random, now: float
+) -> tuple[bool, int, float, float, float]:
+    return (
+        load.suspected_until > now,
+        load.long(now),
+        load.taken / load.server.slots,
+        load.connections / load.server.connections,
+        random.random(),
+    )
--- a/libs/placement/src/kumquatmux_placement/events.py
+++ b/libs/placement/src/kumquatmux_placement/events.py
@@ -27,6 +27,7 @@
         deadline: When holding it ends, in seconds; infinite if the settings decide.
         repeatable: Whether it may be run a second time.
         size: Expected size.
+        attempt: 0 for the first try, 1 and more for retries after a refusal.
     """
 
     work_id: bytes
@@ -36,6 +37,7 @@
     deadline: float = float("inf")
     repeatable: bool = False
     size: SizeClass = SizeClass.UNKNOWN
+    attempt: int = 0
 
 
 class ServerState(StrEnum):
@@ -143,6 +145,22 @@
     age: float
 
 
+class SlotDigest(NamedTuple):
+    """What a placer tells its backup about one backend server.
+
+    Attributes:
+        server: Which server.
+        busy: Slots in use.
+        long: How many of them are in use by long work.
+        connections: Connections open.
+    """
+
+    server: ServerId
+    busy: int
+    long: int
+    connections: int
+
+
 class Tick(NamedTuple):
     """Time has passed; deadlines are looked at."""
 
--- /dev/null
+++ b/libs/placement/src/kumquatmux_placement/history.py
@@ -0,0 +1,46 @@
+"""What earlier work of a caller says about the size of its next."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from kumquatmux_placement.events import SizeClass, Work
+from kumquatmux_placement.settings import PlacementSettings
+
+OLD_SHARE = 0.7
+LONG_SHARE = 0.5
+
+
+class SizeHistory:
+    """Share of long work by caller, for one service, in bounded memory.
+
+    Attributes:
+        shares: Moving share of long work by caller, least recently used first.
+        mean_s: Moving mean run time of short work, in seconds; 0 before the first.
+    """
+
+    def __init__(self, settings: PlacementSettings) -> None:
+        self.settings = settings
+        self.shares: OrderedDict[str, float] = OrderedDict()
+        self.mean_s = 0.0
+
+    def expect(self, work: Work) -> SizeClass:
+        """Return the size the work names, or the one its caller's history shows."""
+        if work.size is not SizeClass.UNKNOWN:
+            return work.size
+        share = self.shares.get(work.caller)
+        if share is None:
+            return SizeClass.UNKNOWN
+        return SizeClass.LONG if share >= LONG_SHARE else SizeClass.SHORT
+
+    def learn(self, caller: str, run_s: float) -> None:
+        """Take in one finished piece of work that ran for ``run_s`` seconds."""
+        long = run_s * 1000.0 >= self.settings.long_ms
+        if not long:
+            self.mean_s += (run_s - self.mean_s) * (0.1 if self.mean_s else 1.0)
+        if not caller:
+            return
+        before = self.shares.pop(caller, float(long))
+        self.shares[caller] = before * OLD_SHARE + float(long) * (1.0 - OLD_SHARE)
+        if len(self.shares) > self.settings.history_callers:
+            self.shares.popitem(last=False)
--- /dev/null
+++ b/libs/placement/src/kumquatmux_placement/memory.py
@@ -0,0 +1,38 @@
+"""Names of ended work, for a bounded time and in bounded memory."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from kumquatmux_placement.settings import PlacementSettings
+
+
+class EndedWork:
+    """Remembers ended work against repeats, oldest first.
+
+    Attributes:
+        ended: When each piece of work ended, in seconds.
+    """
+
+    def __init__(self, settings: PlacementSettings) -> None:
+        self.settings = settings
+        self.ended: OrderedDict[bytes, float] = OrderedDict()
+
+    def add(self, work_id: bytes, now: float) -> None:
+        """Remember work from now on, and forget the oldest if there is too much."""
+        self.ended.pop(work_id, None)
+        self.ended[work_id] = now
+        self.expire(now)
+        if len(self.ended) > self.settings.remembered_work:
+            self.ended.popitem(last=False)
+
+    def holds(self, work_id: bytes, now: float) -> bool:
+        """Return whether work is remembered."""
+        self.expire(now)
+        return work_id in self.ended
+
+    def expire(self, now: float) -> None:
+        """Forget work that ended too long ago."""
+        before = now - self.settings.forget_ms / 1000.0
+        while self.ended and next(iter(self.ended.values())) <= before:
+            self.ended.popitem(last=False)
--- /dev/null
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -0,0 +1,131 @@
+"""The backend servers of one service and the work held for them."""
+
+from __future__ import annotations
+
+import random
+
+from kumquatmux_core.identity import ServerId, ServiceName
+from kumquatmux_placement.backend import ServerLoad
+from kumquatmux_placement.budget import RetryBudget
+from kumquatmux_placement.choice import Choice, choose, is_near
+from kumquatmux_placement.events import Server, ServerState, SizeClass
+from kumquatmux_placement.history import SizeHistory
+from kumquatmux_placement.settings import PlacementSettings
+from kumquatmux_placement.waiting import Waiting, WaitingLine
+
+
+class Pool:
+    """All that placement knows about one service.
+
+    Attributes:
+        service: Its name.
+        loads: Its backend servers, and those gone that still hold flows.
+        line: Work held until a slot frees.
+        history: What callers' earlier work says about the next.
+        budget: What retries may still be held.
+    """
+
+    def __init__(
+        self, settings: PlacementSettings, service: ServiceName, random: random.Random
+    ) -> None:
+        self.settings = settings
+        self.service = service
+        self.random = random
+        self.loads: dict[ServerId, ServerLoad] = {}
+        self.line = WaitingLine()
+        self.history = SizeHistory(settings)
+        self.budget = RetryBudget(settings)
+
+    def change(self, servers: tuple[Server, ...]) -> None:
+        """Take in the announced servers; one that is gone gets nothing new."""
+        named = {server.server for server in servers}
+        for name, load in list(self.loads.items()):
+            if name not in named:
+                load.server = load.server._replace(state=ServerState.STALE)
+                self.tidy(load)
+        for server in servers:
+            if server.server in self.loads:
+                self.loads[server.server].server = server
+            else:
+                load = ServerLoad(self.settings, self.service, server)
+                self.loads[server.server] = load
+
+    def tidy(self, load: ServerLoad) -> None:
+        """Forget a server that is gone and holds no flow."""
+        if load.server.state is ServerState.STALE and load.connections == 0:
+            self.loads.pop(load.server.server, None)
+
+    def expire(self, now: float) -> None:
+        """Free slots whose time is over."""
+        for load in self.loads.values():
+            load.expire(now)
+
+    def choose(self, size: SizeClass, since: float, now: float) -> Choice | None:
+        """Return a server for work held since some time, if it may be placed now."""
+        if size is SizeClass.LONG and not self.has_room_for_long(now):
+            return None
+        return choose(
+            self.loads.values(),
+            self.settings,
+            self.random,
+            now,
+            may_spill=self.may_spill(since, now),
+        )
+
+    def has_room_for_long(self, now: float) -> bool:
+        """Return whether one more piece of long work leaves enough slots clear."""
+        ready = [load for load in self.loads.values() if load.is_open(now)]
+        slots = sum(load.usable(now) for load in ready)
+        largest = max((load.server.slots for load in ready), default=0)
+        clear = largest * self.settings.clear_servers
+        long = sum(load.long(now) for load in self.loads.values())
+        return long < max(slots - clear, 1)
+
+    def may_spill(self, since: float, now: float) -> bool:
+        """Return whether waiting for a near slot costs more than the link."""
+        link_s = self.settings.link_cost_ms / 1000.0
+        if now - since >= link_s:
+            return True
+        slots = sum(
+            load.usable(now)
+            for load in self.loads.values()
+            if is_near(load, self.settings) and load.is_open(now)
+        )
+        if slots == 0:
+            return True
+        return (len(self.line) + 1) * self.history.mean_s / slots > link_s
+
+    def expected_wait(self, now: float) -> float:
+        """Return how long work that is held from now on will wait, in seconds."""
+        open_loads = [load for load in self.loads.values() if load.is_open(now)]
+        slots = sum(load.usable(now) - load.long(now) for load in open_loads)
+        return len(self.line) * self.history.mean_s / max(slots, 1)
+
+    def next_to_place(self, now: float) -> tuple[Waiting, Choice] | None:
+        """Return the held work that can be placed now and its server."""
+        for line in self.line.lines():
+            waiting = next(iter(line.values()), None)
+            if waiting is None:
+                continue
+            choice = self.choose(waiting.size, waiting.since, now)
+            if choice is not None:
+                return waiting, choice
+        return None
+
+    def next_deadline(self, now: float) -> float:
+        """Return when held work may have to be looked at, in seconds."""
+        if not self.line:
+            return float("inf")
+        times = [self.line.next_deadline()]
+        times += [load.next_change(now) for load in self.loads.values()]
+        times += self.spill_times(now)
+        return min(times)
+
+    def spill_times(self, now: float) -> list[float]:
+        """Return when the first held work may go to another zone, in seconds."""
+        if not self.settings.zone:
+            return []
+        link_s = self.settings.link_cost_ms / 1000.0
+        firsts = [next(iter(line.values()), None) for line in self.line.lines()]
+        times = [waiting.since + link_s for waiting in firsts if waiting is not None]
+        return [time for time in times if time > now]
--- /dev/null
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -0,0 +1,55 @@
+"""What operators can set about admission and placement."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import ZoneName
+
+
+class PlacementSettings(NamedTuple):
+    """Settings of admission and placement, the same for all services of a VM.
+
+    Attributes:
+        zone: Availability zone of this VM; empty for no preference.
+        revision: Settings revision, for the decision lines.
+        hold_ms: How long work without a free slot is held before it is refused.
+        queue_limit: Pieces of work held for one service at most.
+        long_ms: Work that runs longer counts as long.
+        clear_servers: Servers whose worth of slots is kept clear of long work.
+        warm_ms: Time over which the slots of a new server come into use.
+        shed_backoff_ms: First pause in placing after a server shed work.
+        shed_backoff_limit_ms: Longest such pause.
+        link_cost_ms: What a server in another availability zone costs in time.
+        reserve_ms: How long an opened but silent connection keeps its slot.
+        stuck_ms: How long unanswered work keeps its slot.
+        assumed_ms: How long short work of a lost placer is assumed to run.
+        assumed_long_ms: How long its long work is assumed to run.
+        report_fresh_ms: Age up to which a load report counts.
+        retry_ratio: Retries allowed for each first attempt.
+        retry_burst: Retries allowed at once.
+        history_callers: Callers whose work sizes are remembered for one service.
+        forget_ms: How long ended work is remembered against repeats.
+        remembered_work: Pieces of ended work remembered at most.
+    """
+
+    zone: ZoneName = ZoneName("")
+    revision: int = 0
+    hold_ms: float = 1000.0
+    queue_limit: int = 1000
+    long_ms: float = 200.0
+    clear_servers: int = 1
+    warm_ms: float = 10_000.0
+    shed_backoff_ms: float = 100.0
+    shed_backoff_limit_ms: float = 5000.0
+    link_cost_ms: float = 10.0
+    reserve_ms: float = 1000.0
+    stuck_ms: float = 60_000.0
+    assumed_ms: float = 200.0
+    assumed_long_ms: float = 2000.0
+    report_fresh_ms: float = 2000.0
+    retry_ratio: float = 0.1
+    retry_burst: int = 10
+    history_callers: int = 4096
+    forget_ms: float = 120_000.0
+    remembered_work: int = 65_536
--- /dev/null
+++ b/libs/placement/tests/test_admission.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+import random
+
+from kumquatmux_core.identity import ServerId, ServiceName, ZoneName
+from kumquatmux_placement.admission import Admission
+from kumquatmux_placement.events import (
+    Answered,
+    Held,
+    Placed,
+    Refused,
+    Server,
+    ServersChanged,
+    ServerState,
+    Started,
+    Submit,
+    Tick,
+    Work,
+)
+from kumquatmux_placement.settings import PlacementSettings
+
+SERVICE = ServiceName("entries")
+
+
+def server(number=1, **changes):
+    plain = Server(
+        ServerId(f"127.0.0.{number}:9000"),
+        ZoneName("cnx-a"),
+        slots=1,
+        connections=100,
+        state=ServerState.READY,
+        since=-1000.0,
+    )
+    return plain._replace(**changes)
+
+
+def admission(*servers, **changes):
+    made = Admission(PlacementSettings(**changes), random.Random(1))
+    made.handle(ServersChanged(SERVICE, servers or (server(),)), 0.0)
+    return made
+
+
+def work(name=b"a", **changes):
+    return Work(name, SERVICE, "", arrival=0.0)._replace(**changes)
+
+
+def test_held_work_gets_the_freed_slot():
+    made = admission()
+    [placed] = made.handle(Submit(work(b"a")), 0.0)
+    made.handle(Started(b"a", placed.server), 0.0)
+    [held] = made.handle(Submit(work(b"b")), 0.1)
+    assert isinstance(held, Held)
+    [later] = made.handle(Answered(b"a", placed.server), 0.3)
+    assert isinstance(later, Placed)
+    assert later.work_id == b"b"
+
+
+def test_held_work_is_refused_at_its_deadline():
+    made = admission(hold_ms=500.0, reserve_ms=10_000.0)
+    made.handle(Submit(work(b"a")), 0.0)
+    made.handle(Submit(work(b"b")), 0.1)
+    assert made.next_deadline() == 0.6
+    [refused] = made.handle(Tick(), 0.6)
+    assert isinstance(refused, Refused)
