Distribute accepted settings without ever going back

Each VM holds a copy that only moves to higher revisions: deltas that fit exactly by revision and digest, whole trees where they do not, requests to any peer ahead, and a confirmation by the log's leader whose age travels with it, so that staleness shows.

--- /dev/null
+++ b/libs/settings/src/kumquatmux_settings/messages.py
@@ -0,0 +1,79 @@
+"""Messages by which accepted settings reach every VM."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import VmId
+from kumquatmux_settings.change import Edit
+
+
+class DeltaRequest(NamedTuple):
+    """Ask for what came after a revision.
+
+    Attributes:
+        sender: Who asks.
+        revision: Its revision.
+        digest: Its digest, so that a flawed copy gets a whole one.
+    """
+
+    sender: VmId
+    revision: int
+    digest: str
+
+
+class Delta(NamedTuple):
+    """What changed from one revision to a later one.
+
+    Attributes:
+        sender: Who tells it.
+        base_revision: Revision it applies to.
+        base_digest: Digest at that revision.
+        revision: Revision after it.
+        digest: Digest after it.
+        edits: What is set and unset, each key once.
+    """
+
+    sender: VmId
+    base_revision: int
+    base_digest: str
+    revision: int
+    digest: str
+    edits: tuple[Edit, ...]
+
+
+class Snapshot(NamedTuple):
+    """A whole tree.
+
+    Attributes:
+        sender: Who tells it.
+        revision: Its revision.
+        digest: Its digest.
+        edits: Every key with its value.
+    """
+
+    sender: VmId
+    revision: int
+    digest: str
+    edits: tuple[Edit, ...]
+
+
+class Current(NamedTuple):
+    """The newest revision, as the leader of the log knew it a moment ago.
+
+    Attributes:
+        sender: Who passes it on.
+        revision: The newest accepted revision.
+        digest: Its digest.
+        age_ms: Time since the leader confirmed it with a majority.
+    """
+
+    sender: VmId
+    revision: int
+    digest: str
+    age_ms: int
+
+
+Message = DeltaRequest | Delta | Snapshot | Current
+
+MESSAGE_TYPES: tuple[type, ...] = (DeltaRequest, Delta, Snapshot, Current)
--- /dev/null
+++ b/libs/settings/tests/test_distribution.py
@@ -0,0 +1,188 @@
+from __future__ import annotations
+
+import json
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kumquatmux_settings.change import Edit
+from kumquatmux_settings.copy_events import (
+    Accepted,
+    ChildrenChanged,
+    Confirmed,
+    DistributionSettings,
+    InForce,
+    PeerGone,
+    PeerRevision,
+    Received,
+    SendMessage,
+    Tick,
+)
+from kumquatmux_settings.digest import EMPTY_DIGEST, digest_after, digest_of
+from kumquatmux_settings.distribution import SettingsCopy
+from kumquatmux_settings.messages import Current, Delta, DeltaRequest, Snapshot
+
+CONTROL = "control"
+NODES = ["entry-1", "entry-2", "entry-3"]
+KEYS = st.sampled_from(["a", "b", "c", "d"])
+
+
+def copy(vm, **options):
+    chosen = DistributionSettings(vm, frozenset({CONTROL}), **options)
+    return SettingsCopy(chosen, Random(1))
+
+
+class Network:
+    """Copies joined by a lossy, reordering, duplicating wire; one control VM."""
+
+    def __init__(self, children, **options):
+        self.copies = {vm: copy(vm, **options) for vm in [CONTROL, *NODES]}
+        self.wire = []
+        self.now = 0.0
+        self.log = {0: {}}
+        self.tell(CONTROL, ChildrenChanged(tuple(children)))
+
+    def tell(self, vm, event):
+        member = self.copies[vm]
+        before = member.revision
+        actions = member.handle(event, self.now)
+        assert member.revision >= before
+        assert member.values == self.log[member.revision]
+        assert member.digest == digest_of(member.values)
+        self.wire += [(a.vm, a.message) for a in actions if isinstance(a, SendMessage)]
+
+    def accept(self, edits):
+        revision = max(self.log) + 1
+        values = {**self.log[revision - 1]}
+        for key, value in edits:
+            values.pop(key, None)
+            if value is not None:
+                values[key] = json.dumps(value)
+        self.log[revision] = values
+        self.tell(CONTROL, Accepted(revision, dict(values)))
+
+    def heartbeat(self, sender, receiver):
+        source = self.copies[sender]
+        self.tell(receiver, PeerRevision(sender, source.revision, source.digest))
+
+    def settle(self):
+        for _ in range(6):
+            self.now += 2.0
+            for vm in NODES:
+                self.heartbeat(CONTROL, vm)
+            while self.wire:
+                vm, message = self.wire.pop(0)
+                self.tell(vm, Received(message))
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just("accept"),
+            st.lists(st.tuples(KEYS, st.none() | st.integers(0, 3)), max_size=3),
+        ),
+        st.tuples(st.just("deliver"), st.integers(0, 9)),
+        st.tuples(st.just("repeat"), st.integers(0, 9)),
+        st.tuples(st.just("lose"), st.integers(0, 9)),
+        st.tuples(st.just("beat"), st.tuples(*[st.sampled_from(NODES)] * 2)),
+        st.tuples(st.just("confirm"), st.none()),
+        st.tuples(st.just("restart"), st.sampled_from(NODES)),
+        st.tuples(st.just("tick"), st.sampled_from(NODES)),
+    ),
+    max_size=40,
+)
+
+
+@settings(max_examples=150)
+@given(STEPS, st.sampled_from([NODES, NODES[:1], []]), st.integers(1, 3))
+def test_no_copy_reverts_and_all_converge(steps, children, history):
+    net = Network(children, history_limit=history)
+    for step, value in steps:
+        net.now += 0.4
+        if step == "accept":
+            net.accept(value)
+        elif step == "beat" and value[0] != value[1]:
+            net.heartbeat(*value)
+        elif step == "confirm":
+            net.tell(CONTROL, Confirmed())
+        elif step == "restart":
+            net.copies[value] = copy(value)
+        elif step == "tick":
+            net.tell(value, Tick())
+        elif step in ("deliver", "repeat", "lose") and net.wire:
+            vm, message = net.wire[value % len(net.wire)]
+            if step != "repeat":
+                del net.wire[value % len(net.wire)]
+            if step != "lose":
+                net.tell(vm, Received(message))
+    net.settle()
+    assert {member.revision for member in net.copies.values()} == {max(net.log)}
+
+
+@given(st.dictionaries(KEYS, st.text()), st.dictionaries(KEYS, st.none() | st.text()))
+def test_a_digest_updated_by_edits_equals_one_made_anew(values, changes):
+    edits = tuple(Edit(key, text) for key, text in changes.items())
+    after = {k: v for k, v in {**values, **changes}.items() if v is not None}
+    assert digest_after(digest_of(values), values, edits) == digest_of(after)
+
+
+ONE = Delta(CONTROL, 0, EMPTY_DIGEST, 1, digest_of({"a": "1"}), (Edit("a", "1"),))
+LATER = Delta(CONTROL, 4, "f" * 32, 5, "e" * 32, ())
+BAD = ONE._replace(digest="f" * 32)
+FLAWED_TREE = Snapshot(CONTROL, 9, "f" * 32, (Edit("a", "1"),))
+
+
+@pytest.mark.parametrize(
+    "message, revision, asked",
+    [
+        (ONE, 1, None),
+        (LATER, 0, EMPTY_DIGEST),
+        (BAD, 0, ""),
+        (FLAWED_TREE, 0, None),
+        (Current(CONTROL, 3, "f" * 32, 0), 0, EMPTY_DIGEST),
+        (Current(CONTROL, 0, "f" * 32, 0), 0, ""),
+        (DeltaRequest("entry-2", 7, "f" * 32), 0, EMPTY_DIGEST),
+    ],
+)
+def test_only_what_fits_exactly_is_taken(message, revision, asked):
+    member = copy("entry-1")
+    actions = member.handle(Received(message), 0.0)
+    assert member.revision == revision
+    requests = [a.message.digest for a in actions if isinstance(a, SendMessage)]
+    assert requests == ([] if asked is None else [asked])
+
+
+def test_a_flawed_copy_is_repaired_by_a_control_vm_only():
+    member = copy("entry-1")
+    member.handle(Received(ONE), 0.0)
+    right = {"a": "2"}
+    tree = Snapshot("entry-2", 1, digest_of(right), (Edit("a", "2"),))
+    assert member.handle(PeerRevision("entry-2", 1, tree.digest), 0.0) == []
+    (ask,) = member.handle(PeerRevision(CONTROL, 1, tree.digest), 0.0)
+    assert ask.message == DeltaRequest("entry-1", 1, "")
+    assert member.handle(Received(tree), 0.0) == []
+    told = member.handle(Received(tree._replace(sender=CONTROL)), 0.0)
+    assert told == [InForce(1, tree.digest, (Edit("a", "2"),))]
+
+
+def test_an_unanswered_request_goes_to_another_peer():
+    member = copy("entry-1")
+    (first,) = member.handle(PeerRevision("entry-2", 4), 0.0)
+    assert member.handle(PeerRevision("entry-3", 4), 0.5) == []
+    member.handle(PeerGone("entry-2"), 0.6)
+    (second,) = member.handle(Tick(), 1.0)
+    assert [first.vm, second.vm] == ["entry-2", "entry-3"]
+
+
+def test_staleness_grows_until_the_leader_is_heard_again():
+    member = copy("entry-1")
+    member.handle(Received(ONE), 0.0)
+    member.handle(ChildrenChanged(("entry-2",)), 0.0)
+    assert member.staleness(10.0) == float("inf")
+    (passed_on,) = member.handle(Received(Current(CONTROL, 1, ONE.digest, 300)), 10.0)
+    assert passed_on.message == Current("entry-1", 1, ONE.digest, 300)
+    assert member.staleness(11.0) == pytest.approx(1.3)
+    member.handle(Received(Current(CONTROL, 1, ONE.digest, 5000)), 11.0)
+    assert member.staleness(11.0) == pytest.approx(1.3)
