--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -0,0 +1,119 @@
+"""Whether a call of a backend server is taken, and what lease it stands for."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from kumquatmux_core.identity import Endpoint, ServerId, Vm
+from kumquatmux_core.problems import Problem
+from kumquatmux_membership.events import Announce, Depart, Drain, Lease, Ticket
+from kumquatmux_membership.known import KnownServer
+from kumquatmux_membership.phases import Phase, phase_of, session_of, version_of
+from kumquatmux_membership.settings import LeaseSettings
+
+
+class Desk(NamedTuple):
+    """What a VM is able to take at the moment.
+
+    Attributes:
+        me: The VM.
+        leaving: Whether it shuts down.
+        informed: Whether it has asked its peers what they hold.
+        full: Whether it holds as many servers as it may.
+    """
+
+    me: Vm
+    leaving: bool
+    informed: bool
+    full: bool
+
+
+def check_announce(
+    event: Announce,
+    known: KnownServer | None,
+    desk: Desk,
+    settings: LeaseSettings,
+    now: float,
+) -> Result[Lease, Problem]:
+    """Return the lease to hold, or why the announcement is refused."""
+    lease = event.lease
+    if desk.leaving:
+        return _refuse(lease, "vm-leaving", "this VM shuts down, renew at another one")
+    if lease.zone != desk.me.zone:
+        return _refuse(lease, "wrong-zone", f"this VM serves zone {desk.me.zone}")
+    if lease.server != str(lease.endpoint):
+        return _refuse(lease, "wrong-server", f"its endpoint is {lease.endpoint}")
+    if not desk.informed and known is None:
+        return _refuse(lease, "vm-starting", "this VM has not heard its peers yet")
+    if desk.full and known is None:
+        return _refuse(lease, "table-full", "this VM holds as many servers as it may")
+    if not _current(event.ticket, desk.me, settings, now):
+        return _refuse(lease, "ticket-needed", "repeat the call with this ticket")
+    if known is None:
+        return Ok(lease)
+    return _check_against(lease, known, settings, now)
+
+
+def check_retire(
+    event: Drain | Depart, known: KnownServer | None, me: Vm
+) -> Result[Lease, Problem]:
+    """Return the lease that drains or leaves, or why the call is refused."""
+    if known is None or session_of(known.lease.version) < event.session:
+        if not event.session or not event.service:
+            detail = "this VM does not know the server; give its session and service"
+            return Error(Problem("server-unknown", detail, event.server))
+        return _unseen(event, me)
+    if event.service and event.service != known.lease.service:
+        detail = f"it belongs to service {known.lease.service}"
+        return Error(Problem("address-taken", detail, event.server))
+    if event.session and event.session < session_of(known.lease.version):
+        detail = f"its latest session is {session_of(known.lease.version)}"
+        return Error(Problem("session-old", detail, event.server))
+    return Ok(known.lease)
+
+
+def _check_against(
+    lease: Lease, known: KnownServer, settings: LeaseSettings, now: float
+) -> Result[Lease, Problem]:
+    session = session_of(lease.version)
+    latest = session_of(known.lease.version)
+    held_lately = now - known.at < settings.address_hold_seconds
+    if lease.service != known.lease.service and held_lately:
+        return _refuse(lease, "address-taken", "another service uses this address")
+    if session < latest:
+        return _refuse(lease, "session-old", f"its latest session is {latest}")
+    if session == latest and phase_of(known.lease.version) == Phase.LEFT:
+        return _refuse(lease, "session-left", f"session {latest} has left for good")
+    return Ok(lease)
+
+
+def _current(
+    ticket: Ticket | None, me: Vm, settings: LeaseSettings, now: float
+) -> bool:
+    if ticket is None or ticket.incarnation != me.incarnation:
+        return False
+    return 0 <= now - ticket.stamp <= settings.ticket_seconds
+
+
+def _unseen(event: Drain | Depart, me: Vm) -> Result[Lease, Problem]:
+    ip, _, port = event.server.rpartition(":")
+    if not port.isdecimal():
+        return Error(Problem("wrong-server", "its name is not ip:port", event.server))
+    lease = Lease(
+        server=event.server,
+        endpoint=Endpoint(ip, int(port)),
+        service=event.service,
+        zone=me.zone,
+        slots=0,
+        connections=0,
+        draining=False,
+        left=False,
+        version=version_of(event.session, Phase.LIVE),
+    )
+    return Ok(lease)
+
+
+def _refuse(lease: Lease, code: str, detail: str) -> Result[Lease, Problem]:
+    return Error(Problem(code, detail, subject=ServerId(lease.server)))
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/clock.py
@@ -0,0 +1,28 @@
+"""A clock that never runs backwards, whatever the one it reads does."""
+
+from __future__ import annotations
+
+
+class SteadyClock:
+    """Turns readings of a clock that may jump back into a growing one.
+
+    Args:
+        penalty_seconds: How far the steady clock moves on when the other jumps back, so
+            that whatever was fresh before the jump is not fresh after it.
+    """
+
+    def __init__(self, penalty_seconds: float) -> None:
+        self.penalty_seconds = penalty_seconds
+        self.offset = 0.0
+        self.latest = float("-inf")
+
+    def read(self, now: float) -> float:
+        """Return the steady time for a reading, in seconds."""
+        if now + self.offset < self.latest:
+            self.offset = self.latest + self.penalty_seconds - now
+        self.latest = now + self.offset
+        return self.latest
+
+    def reading(self, steady: float) -> float:
+        """Return the reading that a steady time stands for, in seconds."""
+        return steady - self.offset
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -0,0 +1,81 @@
+"""Membership and leases of one VM behind one interface."""
+
+from __future__ import annotations
+
+from random import Random
+
+from kumquatmux_core.identity import Vm
+from kumquatmux_membership.clock import SteadyClock
+from kumquatmux_membership.events import (
+    Action,
+    Event,
+    IncarnationRaised,
+    PeersChanged,
+    Tick,
+)
+from kumquatmux_membership.leases import LeaseTable
+from kumquatmux_membership.membership import Membership
+from kumquatmux_membership.settings import LeaseSettings, MembershipSettings
+
+
+class Coordinator:
+    """Runs failure detection and leases on one clock and passes news between them.
+
+    Args:
+        me: This VM.
+        peers: The VMs that the settings name.
+        membership: Settings of failure detection.
+        leases: Settings of leases.
+        random: Chooses probe helpers and spreads heartbeats.
+    """
+
+    def __init__(
+        self,
+        me: Vm,
+        peers: tuple[Vm, ...],
+        membership: MembershipSettings,
+        leases: LeaseSettings,
+        random: Random,
+    ) -> None:
+        self.clock = SteadyClock(leases.stale_seconds)
+        self.membership = Membership(me, peers, membership, random)
+        self.leases = LeaseTable(me, leases)
+
+    @property
+    def valid_until(self) -> float:
+        """Reading of the clock from which fresh servers need a ``Tick`` first."""
+        return self.clock.reading(self.leases.valid_until)
+
+    def note_settings(self, revision: int, digest: str) -> None:
+        """Take the settings revision and digest that heartbeats carry."""
+        self.membership.note_settings(revision, digest)
+
+    def refresh(self, now: float) -> list[Action]:
+        """Return what time alone has changed, if ``valid_until`` has passed.
+
+        Args:
+            now: Reading of a clock, in seconds.
+        """
+        if now < self.valid_until:
+            return []
+        return self.handle(Tick(), now)
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what is to be done.
+
+        Args:
+            event: What happened.
+            now: Reading of a clock, in seconds; it may jump.
+
+        Returns:
+            What the caller does, in this order; the first is a ``LeaseAnswer`` if a
+            backend server called.
+        """
+        steady = self.clock.read(now)
+        actions = self.leases.handle(event, steady)
+        self.membership.note_leases(self.leases.holder.version)
+        seen = self.membership.handle(event, steady)
+        for action in seen:
+            if isinstance(action, PeersChanged | IncarnationRaised):
+                actions += self.leases.handle(action, steady)
+        return actions + seen
--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -2,9 +2,37 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import NamedTuple
 
 from kumquatmux_core.identity import Endpoint, ServerId, ServiceName, Vm, VmId, ZoneName
+from kumquatmux_core.problems import Problem
+
+
+class RumourKind(IntEnum):
+    """What a rumour says; of equal incarnations the higher kind wins."""
+
+    ALIVE = 0
+    LOST = 1
+    LEFT = 2
+
+
+class Rumour(NamedTuple):
+    """What one VM passes on about another, in sampled mode.
+
+    Attributes:
+        vm: Whom it is about.
+        incarnation: Which incarnation of it.
+        kind: What became of it.
+        refutations: Grows when the VM itself contradicts a rumour of its loss.
+        about: Its addresses, when the receiver may not know it.
+    """
+
+    vm: VmId
+    incarnation: int
+    kind: RumourKind
+    refutations: int = 0
+    about: Vm | None = None
 
 
 class Heartbeat(NamedTuple):
@@ -19,6 +47,9 @@
         digest: Digest of the settings at that revision.
         leases: Version of the sender's own lease table.
         leaving: Whether the sender is shutting down gracefully.
+        echoed: Incarnation of the receiver whose stamp is echoed.
+        refused: Whether the sender does not use the receiver at present.
+        rumours: What the sender passes on about third VMs, in sampled mode.
     """
 
     sender: VmId
@@ -29,6 +60,37 @@
     digest: str
     leases: int
     leaving: bool = False
+    echoed: int = 0
+    refused: bool = False
+    rumours: tuple[Rumour, ...] = ()
+
+
+class Hello(NamedTuple):
+    """Sent to a VM that may not know the sender yet.
+
+    The transport hands it over only if it accepts the sender's key.
+
+    Attributes:
+        vm: The sender, with its incarnation.
+        known: Further VMs the sender knows.
+        answer: Whether this answers a ``Hello``, so that it gets no answer.
+    """
+
+    vm: Vm
+    known: tuple[Vm, ...] = ()
+    answer: bool = False
+
+
+class Superseded(NamedTuple):
+    """The receiver uses an incarnation that is not the highest the sender knows.
+
+    Attributes:
+        sender: Who tells.
+        incarnation: The highest incarnation of the receiver it has seen.
+    """
+
+    sender: VmId
+    incarnation: int
 
 
 class ProbeRequest(NamedTuple):
@@ -59,9 +121,11 @@
         connections: Connections it holds at most.
         draining: Whether it takes no new work.
         left: Whether it has left for good.
-        version: Grows with each change of this lease.
+        version: Session of the server times four, plus its phase (see ``phases``); the
+            higher version wins wherever two are told.
         busy: Slots in use by its latest report, -1 without one.
         open: Connections by its latest report, -1 without one.
+        held: Whether the sender still holds it; False only travels in an update.
     """
 
     server: ServerId
@@ -75,6 +139,7 @@
     version: int
     busy: int = -1
     open: int = -1
+    held: bool = True
 
 
 class LeaseUpdate(NamedTuple):
@@ -86,6 +151,8 @@
         version: Version of its lease table after these.
         complete: Whether these are all it holds.
         leases: The leases.
+        base: Version of its table that these changes start from.
+        ack: Whether the receiver answers with a ``LeaseAck``.
     """
 
     sender: VmId
@@ -93,18 +160,54 @@
     version: int
     complete: bool
     leases: tuple[Lease, ...]
+    base: int = 0
+    ack: bool = False
 
 
 class LeaseRequest(NamedTuple):
-    """Ask a holder for all its leases, because its version is ahead of ours."""
+    """Ask a holder for its leases, because its version is ahead of ours.
+
+    Attributes:
+        sender: Who asks.
+        since: Version of the holder's table that the asker has, 0 for none.
+        incarnation: Incarnation of the holder that this version belongs to.
+    """
 
     sender: VmId
+    since: int = 0
+    incarnation: int = 0
+
+
+class LeaseAck(NamedTuple):
+    """The receiver's lease table is known here up to a version.
+
+    Attributes:
+        sender: Who answers.
+        incarnation: Incarnation of the holder that the version belongs to.
+        version: Version of the holder's table.
+    """
+
+    sender: VmId
+    incarnation: int
+    version: int
+
+
+Message = (
+    Heartbeat
+    | Hello
+    | Superseded
+    | ProbeRequest
+    | ProbeAnswer
+    | LeaseUpdate
+    | LeaseRequest
+    | LeaseAck
+)
 
 
 class Received(NamedTuple):
     """A message from a peer reached this VM."""
 
-    message: Heartbeat | ProbeRequest | ProbeAnswer | LeaseUpdate | LeaseRequest
+    message: Message
 
 
 class Tick(NamedTuple):
@@ -115,29 +218,98 @@
     """This VM begins a graceful shutdown."""
 
 
+class PeersChanged(NamedTuple):
+    """The VMs that belong to the system, reachable or not, without this one.
+
+    As an event it gives the VMs that the settings name; as an action it adds those
+    that were learned at run time.
+    """
+
+    peers: tuple[Vm, ...]
+
+
+class Ticket(NamedTuple):
+    """A time stamp of the VM that a backend server calls, given back by the server.
+
+    Attributes:
+        incarnation: Incarnation of the VM.
+        stamp: Its clock when it gave the ticket, in seconds.
+    """
+
+    incarnation: int
+    stamp: float
+
+
 class Announce(NamedTuple):
-    """A backend server announces or renews itself, already authenticated."""
+    """A backend server announces or renews itself, already authenticated.
+
+    Attributes:
+        lease: What it says of itself.
+        ticket: The latest ticket this VM gave it; the lease runs from its stamp.
+    """
 
     lease: Lease
+    ticket: Ticket | None = None
 
 
 class Drain(NamedTuple):
-    """A backend server takes no new work from now on."""
+    """A backend server takes no new work from now on.
+
+    Attributes:
+        server: Which server.
+        session: Its session, 0 for the latest known here.
+        service: Its service, needed where this VM does not know the server.
+    """
 
     server: ServerId
+    session: int = 0
+    service: ServiceName = ServiceName("")
 
 
 class Depart(NamedTuple):
-    """A backend server leaves for good."""
+    """A backend server leaves for good.
+
+    Attributes:
+        server: Which server.
+        session: Its session, 0 for the latest known here.
+        service: Its service, needed where this VM does not know the server.
+    """
 
     server: ServerId
+    session: int = 0
+    service: ServiceName = ServiceName("")
 
 
 class SendMessage(NamedTuple):
     """Send a message to a peer."""
 
     vm: VmId
-    message: Heartbeat | ProbeRequest | ProbeAnswer | LeaseUpdate | LeaseRequest
+    message: Message
+
+
+class PeerLearned(NamedTuple):
+    """A VM that the settings do not name has joined: connect to it."""
+
+    vm: Vm
+
+
+class IncarnationRaised(NamedTuple):
+    """Peers remember a higher incarnation of this VM, so it now uses this one."""
+
+    incarnation: int
+
+
+class ViewSuspended(NamedTuple):
+    """The view is not to be acted on until the next ``ViewChanged``.
+
+    This process stood still, or its clock jumped, for so long that its peers may have
+    gone on without it. Before the first ``ViewChanged`` the same holds.
+
+    Attributes:
+        gap: How long it stood still, in seconds.
+    """
+
+    gap: float
 
 
 class ViewChanged(NamedTuple):
@@ -157,13 +329,43 @@
 
     Attributes:
         fresh: Leases that new work may use, by state.
-        stale: Leases whose holder has not confirmed them lately.
+        stale: Leases whose holder has not confirmed them lately, or whose address two
+            services claim.
     """
 
     fresh: tuple[Lease, ...]
     stale: tuple[Lease, ...]
 
 
+class LeaseState(IntEnum):
+    """What became of a call of a backend server."""
+
+    GRANTED = 1
+    NOTED = 2
+    IN_FORCE = 3
+    REFUSED = 4
+
+
+class LeaseAnswer(NamedTuple):
+    """The answer to ``Announce``, ``Drain`` or ``Depart``.
+
+    Attributes:
+        server: Which server called.
+        state: ``GRANTED`` for a lease, ``NOTED`` when a drain or leave is not yet sure
+            to hold everywhere (repeat the call), ``IN_FORCE`` when no new work
+            arrives later than 3 s from now.
+        ticket: The ticket for the server's next call to this VM.
+        session: The latest session known of the server.
+        problem: Why the call was refused.
+    """
+
+    server: ServerId
+    state: LeaseState
+    ticket: Ticket
+    session: int
+    problem: Problem | None = None
+
+
 class PeerAhead(NamedTuple):
     """A peer runs a higher settings revision than this VM."""
 
@@ -171,5 +373,24 @@
     revision: int
 
 
-Event = Received | Tick | Leave | Announce | Drain | Depart
-Action = SendMessage | ViewChanged | ServersChanged | PeerAhead
+Event = (
+    Received
+    | Tick
+    | Leave
+    | Announce
+    | Drain
+    | Depart
+    | PeersChanged
+    | IncarnationRaised
+)
+Action = (
+    SendMessage
+    | PeersChanged
+    | PeerLearned
+    | IncarnationRaised
+    | ViewSuspended
+    | ViewChanged
+    | ServersChanged
+    | LeaseAnswer
+    | PeerAhead
+)
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -0,0 +1,101 @@
+"""Which backend servers may get new work, by the age of what is known of them."""
+
+from __future__ import annotations
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import ServerId, ServiceName, VmId
+from kumquatmux_membership.events import Lease, ServersChanged
+from kumquatmux_membership.holder import Holder, essence
+from kumquatmux_membership.known import KnownServers
+from kumquatmux_membership.phases import Phase, phase_of
+from kumquatmux_membership.settings import LeaseSettings
+from kumquatmux_membership.told import ToldTable
+
+
+class Freshness:
+    """Works out the servers again when leases or the age of a holder change.
+
+    Args:
+        settings: When a holder is stale.
+
+    Attributes:
+        dirty: Whether leases have changed since the last review.
+        valid_until: When the next holder becomes stale, in seconds.
+    """
+
+    def __init__(self, settings: LeaseSettings) -> None:
+        self.settings = settings
+        self.dirty = False
+        self.valid_until = float("inf")
+        self.fresh_holders: frozenset[VmId] = frozenset()
+        self.latest = ServersChanged((), ())
+
+    def review(
+        self,
+        holder: Holder,
+        told: dict[VmId, ToldTable],
+        known: KnownServers,
+        now: float,
+    ) -> ServersChanged | None:
+        """Return the servers if they are not what they were."""
+        fresh = self._fresh_holders(told, now)
+        if not self.dirty and fresh == self.fresh_holders:
+            return None
+        self._log_holders(fresh)
+        self.dirty = False
+        self.fresh_holders = fresh
+        tables = [told[vm].leases for vm in sorted(fresh)]
+        claims = _services_by_claim(holder, tables, known)
+        servers = _divide(claims, known)
+        if servers == self.latest:
+            return None
+        self.latest = servers
+        decisions.log(
+            "servers-changed", fresh=len(servers.fresh), stale=len(servers.stale)
+        )
+        return servers
+
+    def _fresh_holders(
+        self, told: dict[VmId, ToldTable], now: float
+    ) -> frozenset[VmId]:
+        limit = self.settings.stale_seconds
+        fresh = [table for table in told.values() if now < table.confirmed + limit]
+        ends = [table.confirmed + limit for table in fresh if table.leases]
+        self.valid_until = min(ends, default=float("inf"))
+        return frozenset(table.holder for table in fresh)
+
+    def _log_holders(self, fresh: frozenset[VmId]) -> None:
+        for vm in sorted(self.fresh_holders - fresh):
+            decisions.log("holder-stale", vm=vm)
+        for vm in sorted(fresh - self.fresh_holders):
+            decisions.log("holder-fresh", vm=vm)
+
+
+def _services_by_claim(
+    holder: Holder, tables: list[dict[ServerId, Lease]], known: KnownServers
+) -> dict[ServerId, set[tuple[int, ServiceName]]]:
+    """Return the versions and services under which each server is held."""
+    claims: dict[ServerId, set[tuple[int, ServiceName]]] = {}
+    own = {server: entry.lease for server, entry in holder.held.items()}
+    for table in (own, *tables):
+        for server, lease in table.items():
+            if phase_of(lease.version) == Phase.LEFT:
+                continue
+            claims.setdefault(server, set()).add((lease.version, lease.service))
+    return claims
+
+
+def _divide(
+    claims: dict[ServerId, set[tuple[int, ServiceName]]], known: KnownServers
+) -> ServersChanged:
+    fresh: list[Lease] = []
+    stale: list[Lease] = []
+    for server in sorted(known.servers):
+        lease = known.servers[server].lease
+        if phase_of(lease.version) == Phase.LEFT:
+            continue
+        told = claims.get(server, set())
+        services = {service for _, service in told}
+        confirmed = (lease.version, lease.service) in told and len(services) == 1
+        (fresh if confirmed else stale).append(essence(lease))
+    return ServersChanged(tuple(fresh), tuple(stale))
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -0,0 +1,109 @@
+"""The leases one VM holds itself, with the changes its peers still need."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import ServerId
+from kumquatmux_membership.events import Lease
+
+
+class HeldLease(NamedTuple):
+    """A lease held here.
+
+    Attributes:
+        lease: What the server said, at its present phase.
+        expires: When it ends without a renewal, in seconds.
+        changed: Version of the table that made its last change.
+    """
+
+    lease: Lease
+    expires: float
+    changed: int
+
+
+class Release(NamedTuple):
+    """A lease no longer held here.
+
+    Attributes:
+        lease: What it was.
+        changed: Version of the table that released it.
+        at: When, in seconds.
+    """
+
+    lease: Lease
+    changed: int
+    at: float
+
+
+class Holder:
+    """A versioned table of the leases held by this VM.
+
+    Attributes:
+        version: Grows with each change that peers have to know.
+        held: Leases held, by server.
+        released: Leases let go lately, by server.
+        pruned: Version up to which releases are forgotten.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.held: dict[ServerId, HeldLease] = {}
+        self.released: dict[ServerId, Release] = {}
+        self.pruned = 0
+        self.next_expiry = float("inf")
+
+    def hold(self, lease: Lease, expires: float) -> bool:
+        """Hold or renew a lease; return whether peers have to know."""
+        before = self.held.get(lease.server)
+        changed = before is None or essence(before.lease) != essence(lease)
+        if changed:
+            self.version += 1
+            self.released.pop(lease.server, None)
+        version = self.version if changed or before is None else before.changed
+        self.held[lease.server] = HeldLease(lease, expires, version)
+        self.next_expiry = min(self.next_expiry, expires)
+        return changed
+
+    def release(self, server: ServerId, now: float) -> None:
+        """Let a lease go."""
+        entry = self.held.pop(server)
+        self.version += 1
+        self.released[server] = Release(entry.lease, self.version, now)
+
+    def expire(self, now: float) -> list[Lease]:
+        """Let go and return the leases whose time is over."""
+        if now < self.next_expiry:
+            return []
+        ended = [entry.lease for entry in self.held.values() if entry.expires <= now]
+        for lease in ended:
+            self.release(lease.server, now)
+        remaining = (entry.expires for entry in self.held.values())
+        self.next_expiry = min(remaining, default=float("inf"))
+        return ended
+
+    def prune(self, before: float) -> None:
+        """Forget releases older than a time."""
+        old = [entry for entry in self.released.values() if entry.at < before]
+        for entry in old:
+            del self.released[entry.lease.server]
+            self.pruned = max(self.pruned, entry.changed)
+
+    def changes_since(self, version: int) -> tuple[Lease, ...]:
+        """Return what changed after a version, releases as not held."""
+        held = [entry.lease for entry in self.held.values() if entry.changed > version]
+        gone = [
+            entry.lease._replace(held=False)
+            for entry in self.released.values()
+            if entry.changed > version
+        ]
+        return tuple(held + gone)
+
+    def all_leases(self) -> tuple[Lease, ...]:
+        """Return every lease held."""
+        return tuple(entry.lease for entry in self.held.values())
+
+
+def essence(lease: Lease) -> Lease:
+    """Return a lease without its load report, which is not worth telling."""
+    return lease._replace(busy=-1, open=-1)
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -0,0 +1,59 @@
+"""The latest thing known of each backend server, whoever told it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import ServerId
+from kumquatmux_membership.events import Lease
+from kumquatmux_membership.phases import Phase, phase_of
+
+
+class KnownServer(NamedTuple):
+    """The highest version seen of a server's lease.
+
+    Attributes:
+        lease: The lease at that version.
+        at: When somebody last held it and it had not left, in seconds.
+    """
+
+    lease: Lease
+    at: float
+
+
+class KnownServers:
+    """Servers by name, so that no older message undoes what a later one said."""
+
+    def __init__(self) -> None:
+        self.servers: dict[ServerId, KnownServer] = {}
+
+    def get(self, server: ServerId) -> KnownServer | None:
+        """Return what is known of a server."""
+        return self.servers.get(server)
+
+    def phase(self, server: ServerId) -> Phase:
+        """Return the phase of a server that is known."""
+        return phase_of(self.servers[server].lease.version)
+
+    def merge(self, lease: Lease, now: float) -> None:
+        """Take a lease that somebody holds now."""
+        before = self.servers.get(lease.server)
+        if before is not None and before.lease.version > lease.version:
+            return
+        at = now
+        if phase_of(lease.version) == Phase.LEFT and before is not None:
+            at = before.at
+        self.servers[lease.server] = KnownServer(lease, at)
+
+    def seen(self, server: ServerId, now: float) -> None:
+        """Note that a server which has not left is still held."""
+        entry = self.servers.get(server)
+        if entry is not None and phase_of(entry.lease.version) != Phase.LEFT:
+            self.servers[server] = entry._replace(at=now)
+
+    def prune(self, before: float) -> bool:
+        """Forget servers that nobody has held since; return whether any went."""
+        old = [name for name, entry in self.servers.items() if entry.at < before]
+        for name in old:
+            del self.servers[name]
+        return bool(old)
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -0,0 +1,365 @@
+"""Leases of backend servers: those held here and those that peers tell of.
+
+The version of a lease comes from the server itself (see ``phases``), so of two tellings
+the higher version is the later one and two holders cannot contradict each other. What a
+peer tells counts as fresh from the stamp of ours that it echoed with it.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Any
+
+from expression import Result
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import ServerId, Vm, VmId
+from kumquatmux_core.problems import Problem
+from kumquatmux_membership.admission import Desk, check_announce, check_retire
+from kumquatmux_membership.events import (
+    Action,
+    Announce,
+    Depart,
+    Drain,
+    Event,
+    Heartbeat,
+    IncarnationRaised,
+    Lease,
+    LeaseAck,
+    LeaseAnswer,
+    LeaseRequest,
+    LeaseState,
+    LeaseUpdate,
+    Leave,
+    Message,
+    PeersChanged,
+    Received,
+    SendMessage,
+    Tick,
+    Ticket,
+)
+from kumquatmux_membership.freshness import Freshness
+from kumquatmux_membership.holder import Holder
+from kumquatmux_membership.known import KnownServers
+from kumquatmux_membership.notices import Notices
+from kumquatmux_membership.phases import (
+    Phase,
+    at_phase,
+    phase_of,
+    session_of,
+)
+from kumquatmux_membership.settings import LeaseSettings
+from kumquatmux_membership.stamps import echoes_us
+from kumquatmux_membership.told import ToldTable
+
+HOUSEKEEPING_SECONDS = 1.0
+
+
+class LeaseTable:
+    """All leases known to one VM.
+
+    Args:
+        me: This VM.
+        settings: Periods and limits.
+    """
+
+    def __init__(self, me: Vm, settings: LeaseSettings) -> None:
+        self.me = me
+        self.settings = settings
+        self.holder = Holder()
+        self.known = KnownServers()
+        self.told: dict[VmId, ToldTable] = {}
+        self.peers: dict[VmId, Vm] = {}
+        self.notices = Notices(settings)
+        self.freshness = Freshness(settings)
+        self.started: float | None = None
+        self.leaving = False
+        self.next_housekeeping = 0.0
+        self.actions: list[Action] = []
+
+    @property
+    def valid_until(self) -> float:
+        """Time from which the last ``ServersChanged`` may be wrong, in seconds."""
+        return min(self.freshness.valid_until, self.holder.next_expiry)
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what is to be done.
+
+        Args:
+            event: What happened.
+            now: Time of a clock that never runs backwards, in seconds.
+
+        Returns:
+            What the caller does; the first is a ``LeaseAnswer`` if a server called.
+        """
+        self.actions = []
+        if self.started is None:
+            self.started = now
+        self._expire(now)
+        self._on(event, now)
+        changed = self.freshness.review(self.holder, self.told, self.known, now)
+        if changed is not None:
+            self.actions.append(changed)
+        return self.actions
+
+    def _expire(self, now: float) -> None:
+        base = self.holder.version
+        for lease in self.holder.expire(now):
+            self.freshness.dirty = True
+            decisions.log("lease-ended", server=lease.server, service=lease.service)
+        self._push(base, now)
+
+    @singledispatchmethod
+    def _on(self, event: Any, now: float) -> None:
+        """Events of membership are none of ours."""
+
+    @_on.register
+    def _on_tick(self, event: Tick, now: float) -> None:
+        for vm in self.notices.due(now):
+            self._send_table(vm, self.notices.base(vm), ack=True)
+        if now < self.next_housekeeping:
+            return
+        self.next_housekeeping = now + HOUSEKEEPING_SECONDS
+        self._drop_silent_holders(now)
+        for server in self._claimed():
+            self.known.seen(server, now)
+        before = now - self.settings.retired_seconds
+        self.holder.prune(before)
+        self.notices.prune(before)
+        if self.known.prune(before):
+            self.freshness.dirty = True
+
+    @_on.register
+    def _on_peers(self, event: PeersChanged, now: float) -> None:
+        self.peers = {vm.vm: vm for vm in event.peers}
+
+    @_on.register
+    def _on_incarnation(self, event: IncarnationRaised, now: float) -> None:
+        self.me = self.me._replace(incarnation=event.incarnation)
+
+    @_on.register
+    def _on_leave(self, event: Leave, now: float) -> None:
+        self.leaving = True
+
+    @_on.register
+    def _on_announce(self, event: Announce, now: float) -> None:
+        known = self.known.get(event.lease.server)
+        match check_announce(event, known, self._desk(now), self.settings, now):
+            case Result(tag="ok", ok=lease):
+                self._grant(lease, event, now)
+            case Result(error=problem):
+                self._refuse(event.lease.server, problem, now)
+
+    def _grant(self, lease: Lease, event: Announce, now: float) -> None:
+        phase = Phase.DRAINING if lease.draining else Phase.LIVE
+        lease = self._in_session(lease, phase)
+        stamp = event.ticket.stamp if event.ticket else now
+        base = self.holder.version
+        self._hold(lease, stamp + self.settings.lease_seconds, now)
+        self._push(base, now)
+        self._answer(lease.server, LeaseState.GRANTED, now)
+
+    def _in_session(self, lease: Lease, phase: Phase) -> Lease:
+        """Return a lease at a phase, or at a later one that its session reached."""
+        known = self.known.get(lease.server)
+        if known is not None and _same_session(known.lease, lease):
+            phase = max(phase, phase_of(known.lease.version))
+        return at_phase(lease, phase)
+
+    @_on.register
+    def _on_drain(self, event: Drain, now: float) -> None:
+        self._retire(event, Phase.DRAINING, now)
+
+    @_on.register
+    def _on_depart(self, event: Depart, now: float) -> None:
+        self._retire(event, Phase.LEFT, now)
+
+    @_on.register
+    def _on_received(self, event: Received, now: float) -> None:
+        self._receive(event.message, now)
+
+    @singledispatchmethod
+    def _receive(self, message: Any, now: float) -> None:
+        """Messages of membership are none of ours."""
+
+    @_receive.register
+    def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
+        table = self._table(message.sender)
+        if not table.meet(message.incarnation):
+            return
+        if not echoes_us(message, self.me.incarnation, now):
+            return
+        behind = table.confirm(message)
+        if behind and now - table.asked >= self.settings.resend_seconds:
+            self._ask(table, now)
+
+    @_receive.register
+    def _receive_update(self, message: LeaseUpdate, now: float) -> None:
+        table = self._table(message.sender)
+        if not table.meet(message.incarnation):
+            return
+        if not table.apply(message):
+            self._ask(table, now)
+            return
+        self.freshness.dirty = True
+        base = self.holder.version
+        for lease in message.leases:
+            self._take(lease, now)
+        self._push(base, now)
+        if message.ack:
+            ack = LeaseAck(self.me.vm, table.incarnation, table.version)
+            self._send(message.sender, ack)
+
+    @_receive.register
+    def _receive_request(self, message: LeaseRequest, now: float) -> None:
+        mine = message.incarnation == self.me.incarnation
+        since = message.since if mine else 0
+        self._send_table(message.sender, since, ack=False)
+
+    @_receive.register
+    def _receive_ack(self, message: LeaseAck, now: float) -> None:
+        if message.incarnation == self.me.incarnation:
+            self.notices.acknowledge(message.sender, message.version)
+
+    def _take(self, lease: Lease, now: float) -> None:
+        """Merge what a peer tells of a server, also into what is held here."""
+        if lease.held:
+            self.known.merge(lease, now)
+        own = self.holder.held.get(lease.server)
+        if own is None or own.lease.version >= lease.version:
+            return
+        if _same_session(own.lease, lease):
+            moved = at_phase(own.lease, phase_of(lease.version))
+            self.holder.hold(moved, own.expires)
+        else:
+            self.holder.release(lease.server, now)
+
+    def _hold(self, lease: Lease, expires: float, now: float) -> None:
+        self.known.merge(lease, now)
+        if not self.holder.hold(lease, expires):
+            return
+        self.freshness.dirty = True
+        decisions.log(
+            "lease-held",
+            server=lease.server,
+            service=lease.service,
+            phase=phase_of(lease.version).name.lower(),
+            session=session_of(lease.version),
+        )
+
+    def _retire(self, event: Drain | Depart, phase: Phase, now: float) -> None:
+        """Drain or leave: note it, tell all, answer whether it surely holds."""
+        known = self.known.get(event.server)
+        match check_retire(event, known, self.me):
+            case Result(tag="ok", ok=lease):
+                lease = self._in_session(lease, phase)
+                if self.notices.find(lease) is None:
+                    self._note(lease, now)
+                in_force = self.notices.in_force(lease, now)
+                state = LeaseState.IN_FORCE if in_force else LeaseState.NOTED
+                self._answer(event.server, state, now)
+            case Result(error=problem):
+                self._refuse(event.server, problem, now)
+
+    def _note(self, lease: Lease, now: float) -> None:
+        own = self.holder.held.get(lease.server)
+        expires = own.expires if own else now + self.settings.lease_seconds
+        if phase_of(lease.version) == Phase.LEFT:
+            expires = now + self.settings.retired_seconds
+        base = self.holder.version
+        self._hold(lease, expires, now)
+        witnesses = {vm.vm for vm in self.peers.values() if vm.zone == lease.zone}
+        self.notices.add(lease, self.holder.version, set(witnesses), now)
+        for vm in witnesses:
+            self._send_table(vm, base, ack=True)
+        self._push(base, now, skip=witnesses)
+
+    def _desk(self, now: float) -> Desk:
+        started = self.started if self.started is not None else now
+        unheard = [vm for vm in self.peers if self._table(vm).confirmed < started]
+        warm = now - started >= self.settings.stale_seconds
+        return Desk(
+            me=self.me,
+            leaving=self.leaving,
+            informed=warm or not unheard,
+            full=len(self.holder.held) >= self.settings.max_servers,
+        )
+
+    def _refuse(self, server: ServerId, problem: Problem, now: float) -> None:
+        decisions.log("lease-refused", server=server, code=problem.code)
+        self._answer(server, LeaseState.REFUSED, now, problem)
+
+    def _answer(
+        self,
+        server: ServerId,
+        state: LeaseState,
+        now: float,
+        problem: Problem | None = None,
+    ) -> None:
+        known = self.known.get(server)
+        session = session_of(known.lease.version) if known else 0
+        ticket = Ticket(self.me.incarnation, now)
+        self.actions.insert(0, LeaseAnswer(server, state, ticket, session, problem))
+
+    def _table(self, vm: VmId) -> ToldTable:
+        table = self.told.get(vm)
+        if table is None:
+            table = self.told[vm] = ToldTable(vm)
+        return table
+
+    def _ask(self, table: ToldTable, now: float) -> None:
+        table.asked = now
+        request = LeaseRequest(self.me.vm, table.version, table.incarnation)
+        self._send(table.holder, request)
+
+    def _reachable(self, vm: VmId, now: float) -> bool:
+        table = self.told.get(vm)
+        if table is None:
+            return False
+        latest = max(table.confirmed, table.pending)
+        return now - latest <= self.settings.stale_seconds
+
+    def _push(self, base: int, now: float, skip: set[VmId] | None = None) -> None:
+        """Tell reachable peers what changed in our table since a version of it."""
+        if self.holder.version == base:
+            return
+        for vm in self.told:
+            if self._reachable(vm, now) and vm not in (skip or ()):
+                self._send_table(vm, base, ack=False)
+
+    def _send_table(self, vm: VmId, since: int, *, ack: bool) -> None:
+        complete = since == 0 or since < self.holder.pruned
+        if complete:
+            leases = self.holder.all_leases()
+        else:
+            leases = self.holder.changes_since(since)
+        update = LeaseUpdate(
+            sender=self.me.vm,
+            incarnation=self.me.incarnation,
+            version=self.holder.version,
+            complete=complete,
+            leases=leases,
+            base=since,
+            ack=ack,
+        )
+        self._send(vm, update)
+
+    def _send(self, vm: VmId, message: Message) -> None:
+        self.actions.append(SendMessage(vm, message))
+
+    def _claimed(self) -> set[ServerId]:
+        claimed = set(self.holder.held)
+        for table in self.told.values():
+            claimed.update(table.leases)
+        return claimed
+
+    def _drop_silent_holders(self, now: float) -> None:
+        for vm, table in list(self.told.items()):
+            latest = max(table.confirmed, table.pending)
+            if now - latest > self.settings.forget_seconds:
+                del self.told[vm]
+                self.freshness.dirty = True
+
+
+def _same_session(one: Lease, other: Lease) -> bool:
+    return session_of(one.version) == session_of(other.version)
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -0,0 +1,384 @@
+"""Failure detection among VMs: heartbeats, probes and the view of who answers.
+
+A peer counts as reachable only while it echoes our own stamps, so both directions of
+the path are known to work and its age is measured by our clock alone.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from random import Random
+from typing import Any, NamedTuple
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import Vm, VmId
+from kumquatmux_membership.events import (
+    Action,
+    Event,
+    Heartbeat,
+    Hello,
+    IncarnationRaised,
+    Leave,
+    Message,
+    PeerAhead,
+    PeerLearned,
+    PeersChanged,
+    ProbeAnswer,
+    ProbeRequest,
+    Received,
+    SendMessage,
+    Superseded,
+    Tick,
+    ViewChanged,
+    ViewSuspended,
+)
+from kumquatmux_membership.peer import NEVER, Peer
+from kumquatmux_membership.settings import MembershipSettings
+from kumquatmux_membership.stamps import STAMP_STEP_SECONDS, echoes_us
+
+REPLY_GAP_SECONDS = 0.05
+PROBE_MEMORY_SECONDS = 2.0
+MAX_KNOWN_IN_HELLO = 64
+
+
+class Probe(NamedTuple):
+    """A probe made for another VM, answered by an echo of the stamp or a later one."""
+
+    asker: VmId
+    target: VmId
+    number: int
+    stamp: float
+
+
+class Membership:
+    """The view of the VMs that this one can reach.
+
+    Args:
+        me: This VM.
+        peers: The VMs that the settings name; this one among them is skipped.
+        settings: Periods and timeouts.
+        random: Chooses probe helpers and spreads heartbeats.
+    """
+
+    def __init__(
+        self,
+        me: Vm,
+        peers: tuple[Vm, ...],
+        settings: MembershipSettings,
+        random: Random,
+    ) -> None:
+        self.me = me
+        self.settings = settings
+        self.random = random
+        self.peers: dict[VmId, Peer] = {
+            vm.vm: Peer(vm, NEVER, listed=True) for vm in peers if vm.vm != me.vm
+        }
+        self.revision = 0
+        self.digest = ""
+        self.leases = 0
+        self.leaving = False
+        self.round = 0
+        self.next_round = NEVER
+        self.latest_now = NEVER
+        self.latest_stamp = 0.0
+        self.suspended_until: float | None = None
+        self.awaited: set[VmId] = set(self.peers)
+        self.probes: list[Probe] = []
+        self.probe_number = 0
+        self.lost: set[VmId] = set()
+        self.view: tuple[Vm, ...] = ()
+        self.listing: tuple[Vm, ...] | None = None
+        self.actions: list[Action] = []
+
+    def note_settings(self, revision: int, digest: str) -> None:
+        """Take the settings revision and digest that heartbeats carry."""
+        self.revision = revision
+        self.digest = digest
+
+    def note_leases(self, version: int) -> None:
+        """Take the version of our lease table that heartbeats carry."""
+        self.leases = version
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what is to be done.
+
+        Args:
+            event: What happened.
+            now: Time of a clock that never runs backwards, in seconds.
+
+        Returns:
+            What the caller does, in this order.
+        """
+        self.actions = []
+        self._watch_gap(now)
+        self._on(event, now)
+        self._forget(now)
+        self._review(now)
+        self._list_peers(now)
+        return self.actions
+
+    def _watch_gap(self, now: float) -> None:
+        gap = now - self.latest_now
+        self.latest_now = now
+        if gap <= self.settings.pause_seconds:
+            return
+        started = gap == float("inf")
+        self.suspended_until = now + self.settings.settle_seconds
+        self.next_round = now
+        if started:
+            return
+        self.awaited = {peer.vm.vm for peer in self.peers.values() if peer.live}
+        for peer in self.peers.values():
+            peer.contact = NEVER
+            peer.extended_until = NEVER
+            peer.probed = False
+        decisions.log("view-suspended", vm=self.me.vm, gap=round(gap, 3))
+        self.actions.append(ViewSuspended(gap))
+
+    @singledispatchmethod
+    def _on(self, event: Any, now: float) -> None:
+        """Events of leases are none of ours."""
+
+    @_on.register
+    def _on_tick(self, event: Tick, now: float) -> None:
+        if now >= self.next_round:
+            self._heartbeat_round(now)
+        for peer in self.peers.values():
+            if peer.suspected(now, self.settings) and not peer.probed:
+                self._ask_probes(peer, now)
+        self.probes = [
+            probe for probe in self.probes if now - probe.stamp < PROBE_MEMORY_SECONDS
+        ]
+
+    @_on.register
+    def _on_leave(self, event: Leave, now: float) -> None:
+        self.leaving = True
+        decisions.log("vm-leaving", vm=self.me.vm)
+        self._heartbeat_round(now)
+
+    @_on.register
+    def _on_peers(self, event: PeersChanged, now: float) -> None:
+        named = {vm.vm: vm for vm in event.peers if vm.vm != self.me.vm}
+        for name, peer in list(self.peers.items()):
+            if peer.listed and name not in named:
+                del self.peers[name]
+        for vm in named.values():
+            self._learn(vm, now).listed = True
+
+    @_on.register
+    def _on_received(self, event: Received, now: float) -> None:
+        self._receive(event.message, now)
+
+    @singledispatchmethod
+    def _receive(self, message: Any, now: float) -> None:
+        """Messages about leases are none of ours."""
+
+    @_receive.register
+    def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
+        peer = self._speaker(message.sender, message.incarnation)
+        if peer is None or message.stamp <= peer.heard:
+            return
+        peer.heard = message.stamp
+        peer.introduced = True
+        if echoes_us(message, self.me.incarnation, now):
+            peer.echoed(message.echo)
+            self._answer_probes(peer)
+        if self._silent(peer, now) and now - peer.sent >= REPLY_GAP_SECONDS:
+            self._send_heartbeat(peer, now)
+        peer.refused = message.refused
+        if message.leaving and not peer.left:
+            peer.left = True
+            peer.left_at = now
+            decisions.log("peer-leaving", vm=peer.vm.vm)
+        if message.revision > self.revision:
+            self.actions.append(PeerAhead(peer.vm.vm, message.revision))
+
+    @_receive.register
+    def _receive_hello(self, message: Hello, now: float) -> None:
+        if message.vm.vm == self.me.vm:
+            return
+        peer = self._learn(message.vm, now)
+        if self._speaker(message.vm.vm, message.vm.incarnation) is None:
+            return
+        peer.vm = message.vm
+        for vm in message.known:
+            if vm.vm != self.me.vm:
+                self._learn(vm, now)
+        if not message.answer:
+            self._send_heartbeat(peer, now)
+            self._send(peer.vm.vm, self._hello(answer=True))
+
+    @_receive.register
+    def _receive_superseded(self, message: Superseded, now: float) -> None:
+        if message.incarnation <= self.me.incarnation:
+            return
+        self.me = self.me._replace(incarnation=message.incarnation + 1)
+        decisions.log("incarnation-raised", incarnation=self.me.incarnation)
+        self.actions.append(IncarnationRaised(self.me.incarnation))
+        self._heartbeat_round(now)
+
+    @_receive.register
+    def _receive_probe_request(self, message: ProbeRequest, now: float) -> None:
+        target = self.peers.get(message.target)
+        if target is None:
+            return
+        self._send_heartbeat(target, now)
+        self.probes.append(Probe(*message, stamp=self.latest_stamp))
+
+    @_receive.register
+    def _receive_probe_answer(self, message: ProbeAnswer, now: float) -> None:
+        peer = self.peers.get(message.target)
+        if peer is None or not peer.probed:
+            return
+        keep = self.settings.remove_seconds + self.settings.probe_grace_seconds
+        peer.extended_until = peer.contact + keep
+
+    def _speaker(self, sender: VmId, incarnation: int) -> Peer | None:
+        """Return the peer that speaks, or None for one unknown or superseded."""
+        peer = self.peers.get(sender)
+        if peer is None:
+            return None
+        if incarnation < peer.vm.incarnation:
+            self._send(sender, Superseded(self.me.vm, peer.vm.incarnation))
+            return None
+        if incarnation > peer.vm.incarnation:
+            if peer.live and not peer.left:
+                self.lost.add(sender)
+            peer.renew_incarnation(incarnation)
+        return peer
+
+    def _learn(self, vm: Vm, now: float) -> Peer:
+        peer = self.peers.get(vm.vm)
+        if peer is None:
+            peer = self.peers[vm.vm] = Peer(
+                vm._replace(incarnation=0), now, listed=False
+            )
+            decisions.log("peer-learned", vm=vm.vm, zone=vm.zone)
+            self.actions.append(PeerLearned(vm))
+        return peer
+
+    def _forget(self, now: float) -> None:
+        for name, peer in list(self.peers.items()):
+            if peer.listed or peer.live:
+                continue
+            keep = self.settings.forget_seconds
+            if peer.left:
+                keep = self.settings.left_seconds
+            if now - max(peer.contact, peer.since) > keep:
+                del self.peers[name]
+
+    def _heartbeat_round(self, now: float) -> None:
+        spread = self.random.uniform(0.9, 1.0)
+        self.next_round = now + self.settings.heartbeat_seconds * spread
+        quiet = self.round % self.settings.quiet_rounds
+        self.round += 1
+        for peer in self.peers.values():
+            if self._silent(peer, now) and quiet and self.suspended_until is None:
+                continue
+            self._send_heartbeat(peer, now)
+            if not peer.introduced:
+                self._send(peer.vm.vm, self._hello(answer=False))
+
+    def _silent(self, peer: Peer, now: float) -> bool:
+        return now - peer.contact > self.settings.remove_seconds
+
+    def _send_heartbeat(self, peer: Peer, now: float) -> None:
+        self.latest_stamp = max(now, self.latest_stamp + STAMP_STEP_SECONDS)
+        message = Heartbeat(
+            sender=self.me.vm,
+            incarnation=self.me.incarnation,
+            stamp=self.latest_stamp,
+            echo=peer.heard,
+            revision=self.revision,
+            digest=self.digest,
+            leases=self.leases,
+            leaving=self.leaving,
+            echoed=peer.vm.incarnation,
+            refused=not peer.answers(now, self.settings),
+        )
+        peer.sent = now
+        self._send(peer.vm.vm, message)
+
+    def _hello(self, *, answer: bool) -> Hello:
+        known = [peer.vm for peer in self.peers.values() if not peer.left]
+        return Hello(self.me, tuple(known[:MAX_KNOWN_IN_HELLO]), answer)
+
+    def _ask_probes(self, target: Peer, now: float) -> None:
+        target.probed = True
+        helpers = [
+            peer.vm.vm
+            for peer in self.peers.values()
+            if peer is not target and peer.usable(now, self.settings)
+        ]
+        self.probe_number += 1
+        request = ProbeRequest(self.me.vm, target.vm.vm, self.probe_number)
+        count = min(self.settings.probe_helpers, len(helpers))
+        for helper in self.random.sample(helpers, count):
+            self._send(helper, request)
+        decisions.log("peer-suspected", vm=target.vm.vm, helpers=count)
+
+    def _answer_probes(self, peer: Peer) -> None:
+        waiting = []
+        for probe in self.probes:
+            if probe.target == peer.vm.vm and peer.contact >= probe.stamp:
+                answer = ProbeAnswer(self.me.vm, probe.target, probe.number)
+                self._send(probe.asker, answer)
+            else:
+                waiting.append(probe)
+        self.probes = waiting
+
+    def _review(self, now: float) -> None:
+        if self.suspended_until is not None:
+            if now < self.suspended_until and not self._all_back(now):
+                return
+            self.suspended_until = None
+            self.awaited = set()
+            view_due = True
+        else:
+            view_due = False
+        for peer in self.peers.values():
+            self._review_peer(peer, now)
+        live = [peer.vm for peer in self.peers.values() if peer.live]
+        view = tuple(sorted([self.me, *live]))
+        gone = {vm.vm for vm in self.view} - {vm.vm for vm in view}
+        for name in gone:
+            peer_gone = self.peers.get(name)
+            if peer_gone is not None and not peer_gone.left:
+                self.lost.add(name)
+        if view == self.view and not self.lost and not view_due:
+            return
+        self.view = view
+        lost = tuple(sorted(self.lost))
+        self.lost = set()
+        names = ",".join(vm.vm for vm in view)
+        decisions.log("view-changed", live=names, lost=",".join(lost))
+        self.actions.append(ViewChanged(view, lost))
+
+    def _all_back(self, now: float) -> bool:
+        peers = [self.peers[name] for name in self.awaited if name in self.peers]
+        return all(peer.left or peer.usable(now, self.settings) for peer in peers)
+
+    def _review_peer(self, peer: Peer, now: float) -> None:
+        usable = peer.usable(now, self.settings)
+        if usable == peer.live:
+            return
+        if not usable and not peer.left:
+            peer.lose(now, self.settings)
+        peer.live = usable
+        peer.since = now
+        self._send_heartbeat(peer, now)
+
+    def _list_peers(self, now: float) -> None:
+        listing = tuple(
+            sorted(
+                peer.vm._replace(incarnation=0)
+                for peer in self.peers.values()
+                if not peer.left or now - peer.left_at < self.settings.left_seconds
+            )
+        )
+        if listing != self.listing:
+            self.listing = listing
+            self.actions.append(PeersChanged(listing))
+
+    def _send(self, vm: VmId, message: Message) -> None:
+        self.actions.append(SendMessage(vm, message))
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -0,0 +1,105 @@
+"""Drains and leaves that are not yet sure to hold at every VM of the zone.
+
+A VM that has acknowledged one never holds the server as live again in that session.
+Where one does not answer, its own lease of the server runs out: a server renews nothing
+as live after it has asked to drain or leave.
+"""
+
+from __future__ import annotations
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import ServerId, VmId
+from kumquatmux_membership.events import Lease
+from kumquatmux_membership.phases import phase_of
+from kumquatmux_membership.settings import LeaseSettings
+
+
+class Notice:
+    """One drain or leave told to the other VMs of the zone.
+
+    Attributes:
+        version: Version of the lease.
+        table_version: Version of our table that carries it.
+        noted: When the server called first, in seconds.
+        waiting: VMs that have not acknowledged it.
+        sent: When it was last sent.
+    """
+
+    def __init__(
+        self, version: int, table_version: int, noted: float, waiting: set[VmId]
+    ) -> None:
+        self.version = version
+        self.table_version = table_version
+        self.noted = noted
+        self.waiting = waiting
+        self.sent = noted
+
+
+class Notices:
+    """The notices of one VM, by server.
+
+    Args:
+        settings: Periods of leases.
+    """
+
+    def __init__(self, settings: LeaseSettings) -> None:
+        self.settings = settings
+        self.open: dict[ServerId, Notice] = {}
+
+    def find(self, lease: Lease) -> Notice | None:
+        """Return the notice of a lease at its present version."""
+        notice = self.open.get(lease.server)
+        if notice is None or notice.version != lease.version:
+            return None
+        return notice
+
+    def add(
+        self, lease: Lease, table_version: int, waiting: set[VmId], now: float
+    ) -> None:
+        """Begin to wait for the VMs that might hold the server as live."""
+        self.open[lease.server] = Notice(lease.version, table_version, now, waiting)
+        phase = phase_of(lease.version).name.lower()
+        decisions.log(
+            "lease-noted", server=lease.server, phase=phase, waiting=len(waiting)
+        )
+
+    def in_force(self, lease: Lease, now: float) -> bool:
+        """Whether no VM of the zone holds the server as live any more."""
+        notice = self.find(lease)
+        if notice is None:
+            return False
+        lapse = self.settings.lease_seconds * (1 + self.settings.clock_rate_margin)
+        return not notice.waiting or now - notice.noted >= lapse
+
+    def acknowledge(self, vm: VmId, version: int) -> None:
+        """Note that a VM knows our table up to a version."""
+        for notice in self.open.values():
+            if version >= notice.table_version:
+                notice.waiting.discard(vm)
+
+    def due(self, now: float) -> set[VmId]:
+        """Return the VMs that are to be told again."""
+        vms: set[VmId] = set()
+        for notice in self.open.values():
+            if not notice.waiting or now - notice.sent < self.settings.resend_seconds:
+                continue
+            if now - notice.noted > self.settings.lease_seconds * 2:
+                continue
+            notice.sent = now
+            vms.update(notice.waiting)
+        return vms
+
+    def base(self, vm: VmId) -> int:
+        """Return the table version from which a VM has to be told."""
+        versions = [
+            notice.table_version - 1
+            for notice in self.open.values()
+            if vm in notice.waiting
+        ]
+        return min(versions, default=0)
+
+    def prune(self, before: float) -> None:
+        """Forget notices older than a time."""
+        old = [name for name, notice in self.open.items() if notice.noted < before]
+        for name in old:
+            del self.open[name]
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -0,0 +1,87 @@
+"""What one VM knows of another."""
+
+from __future__ import annotations
+
+from kumquatmux_core.identity import Vm
+from kumquatmux_membership.settings import MembershipSettings
+
+NEVER = float("-inf")
+
+
+class Peer:
+    """One other VM, reachable or not.
+
+    Attributes:
+        vm: Its addresses and the highest incarnation seen.
+        listed: Whether the settings name it.
+        introduced: Whether it has spoken under its present incarnation.
+        heard: Its latest stamp, by its own clock.
+        contact: Our latest stamp that it echoed: when it surely heard us, and we it.
+        sent: When we sent it a heartbeat last.
+        refused: Whether it says that it does not use us.
+        live: Whether it is in our view.
+        left: Whether it said that it shuts down.
+        left_at: When it first said so.
+        extended_until: Until when it stays because another VM reached it.
+        probed: Whether others were asked to probe it since the last contact.
+        hold_until: Until when it stays out although it answers.
+        losses: How often it was lost since it was last stable.
+        since: When it last entered or left the view.
+    """
+
+    def __init__(self, vm: Vm, now: float, *, listed: bool) -> None:
+        self.vm = vm
+        self.listed = listed
+        self.introduced = False
+        self.heard = 0.0
+        self.contact = NEVER
+        self.sent = NEVER
+        self.refused = False
+        self.live = False
+        self.left = False
+        self.left_at = NEVER
+        self.extended_until = NEVER
+        self.probed = False
+        self.hold_until = NEVER
+        self.losses = 0
+        self.since = now
+
+    def renew_incarnation(self, incarnation: int) -> None:
+        """Start anew with a higher incarnation of the VM."""
+        self.vm = self.vm._replace(incarnation=incarnation)
+        self.introduced = False
+        self.heard = 0.0
+        self.contact = NEVER
+        self.refused = False
+        self.left = False
+        self.extended_until = NEVER
+        self.probed = False
+
+    def echoed(self, stamp: float) -> None:
+        """Note that it echoed one of our stamps."""
+        if stamp > self.contact:
+            self.contact = stamp
+            self.probed = False
+
+    def answers(self, now: float, settings: MembershipSettings) -> bool:
+        """Whether it and we hear each other, judged from our side alone."""
+        if self.left or now < self.hold_until:
+            return False
+        fresh = now - self.contact <= settings.remove_seconds
+        return fresh or now < self.extended_until
+
+    def usable(self, now: float, settings: MembershipSettings) -> bool:
+        """Whether it belongs in our view."""
+        return self.answers(now, settings) and not self.refused
+
+    def suspected(self, now: float, settings: MembershipSettings) -> bool:
+        """Whether its last echo is old enough to have others probe it."""
+        return self.live and now - self.contact > settings.suspect_seconds
+
+    def lose(self, now: float, settings: MembershipSettings) -> None:
+        """Note a loss; the hold before its return doubles with each."""
+        if now - self.since > settings.stable_seconds:
+            self.losses = 0
+        hold = settings.hold_seconds * 2**self.losses
+        self.hold_until = now + min(hold, settings.hold_max_seconds)
+        self.losses += 1
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -0,0 +1,69 @@
+"""Settings of failure detection and of leases."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class MembershipSettings(NamedTuple):
+    """Settings of failure detection among VMs.
+
+    Attributes:
+        heartbeat_seconds: Period of heartbeats to a peer.
+        suspect_seconds: Age of the last echo at which other VMs are asked to probe.
+        remove_seconds: Age of the last echo at which a peer leaves the view.
+        probe_grace_seconds: How much longer a peer stays that another VM reached.
+        probe_helpers: How many VMs are asked to probe.
+        pause_seconds: Standing still for longer than this suspends the view.
+        settle_seconds: How long a suspended view waits for its peers.
+        hold_seconds: How long a returning peer stays out after its first loss.
+        hold_max_seconds: How long it stays out at most, doubling with each loss.
+        stable_seconds: After so long in the view a peer's losses are forgotten.
+        quiet_rounds: A silent peer gets a heartbeat once in so many periods.
+        left_seconds: How long a VM that left stays in the list of peers.
+        forget_seconds: How long a silent VM that was learned at run time is kept.
+        fanout: Peers to heartbeat in sampled mode, 0 for all of them.
+    """
+
+    heartbeat_seconds: float = 0.5
+    suspect_seconds: float = 1.5
+    remove_seconds: float = 2.5
+    probe_grace_seconds: float = 1.5
+    probe_helpers: int = 2
+    pause_seconds: float = 1.0
+    settle_seconds: float = 1.5
+    hold_seconds: float = 1.0
+    hold_max_seconds: float = 8.0
+    stable_seconds: float = 60.0
+    quiet_rounds: int = 4
+    left_seconds: float = 10.0
+    forget_seconds: float = 3600.0
+    fanout: int = 0
+
+
+class LeaseSettings(NamedTuple):
+    """Settings of the leases of backend servers.
+
+    Attributes:
+        lease_seconds: How long a lease runs from the stamp of its ticket.
+        renew_seconds: Period at which backend servers renew.
+        stale_seconds: Age of a holder's last echo at which its leases are stale.
+        clock_rate_margin: Share by which clocks of two machines may run apart.
+        ticket_seconds: Age at which a ticket is refused.
+        retired_seconds: How long a server that left or ended is remembered.
+        address_hold_seconds: How long another service may not take its address.
+        forget_seconds: How long leases of a silent holder are kept as stale.
+        resend_seconds: Period at which unanswered changes are sent again.
+        max_servers: Servers one VM holds at most.
+    """
+
+    lease_seconds: float = 4.0
+    renew_seconds: float = 1.0
+    stale_seconds: float = 2.5
+    clock_rate_margin: float = 0.02
+    ticket_seconds: float = 3.0
+    retired_seconds: float = 120.0
+    address_hold_seconds: float = 60.0
+    forget_seconds: float = 600.0
+    resend_seconds: float = 0.25
+    max_servers: int = 10_000
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/stamps.py
@@ -0,0 +1,21 @@
+"""Time stamps in heartbeats: unique, growing, and told apart from invented ones."""
+
+from __future__ import annotations
+
+from kumquatmux_membership.events import Heartbeat
+
+STAMP_STEP_SECONDS = 1e-6
+STAMP_AHEAD_SECONDS = 1e-3
+
+
+def echoes_us(message: Heartbeat, incarnation: int, now: float) -> bool:
+    """Whether a heartbeat echoes a stamp that this process may have sent.
+
+    Args:
+        message: The heartbeat.
+        incarnation: Our incarnation.
+        now: Our clock, in seconds; stamps sent at one moment run ahead of it a little.
+    """
+    if message.echoed != incarnation:
+        return False
+    return 0 < message.echo <= now + STAMP_AHEAD_SECONDS
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/wire.py
@@ -0,0 +1,28 @@
+"""Numbers under which membership and leases travel between VMs."""
+
+from __future__ import annotations
+
+from kumquatmux_core.codec import registry
+from kumquatmux_membership.events import (
+    Heartbeat,
+    Hello,
+    LeaseAck,
+    LeaseRequest,
+    LeaseUpdate,
+    ProbeAnswer,
+    ProbeRequest,
+    Superseded,
+)
+
+MESSAGE_KINDS: dict[int, type] = {
+    0x0201: Heartbeat,
+    0x0202: ProbeRequest,
+    0x0203: ProbeAnswer,
+    0x0204: LeaseUpdate,
+    0x0205: LeaseRequest,
+    0x0206: Hello,
+    0x0207: Superseded,
+    0x0208: LeaseAck,
+}
+
+MESSAGES = registry(MESSAGE_KINDS)
--- /dev/null
+++ b/libs/membership/tests/test_coordinator.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+from random import Random
+
+from kumquatmux_core.identity import Endpoint, ServerId, ServiceName, Vm, VmId, ZoneName
+from kumquatmux_membership import Coordinator, LeaseSettings, MembershipSettings
+from kumquatmux_membership.events import (
+    Announce,
+    Depart,
+    Lease,
+    LeaseAnswer,
+    LeaseState,
+    Received,
+    SendMessage,
+    ServersChanged,
+    Tick,
+    ViewChanged,
+)
+from kumquatmux_membership.phases import Phase, version_of
+
+
+def vm(name, zone="cnx-a"):
+    return Vm(VmId(name), ZoneName(zone), Endpoint("127.0.0.1", 1), Endpoint("::", 2))
+
+
+def lease(session=1):
+    endpoint = Endpoint("127.0.0.9", 80)
+    return Lease(
+        ServerId(str(endpoint)),
+        endpoint,
+        ServiceName("entries"),
+        ZoneName("cnx-a"),
+        2,
+        2000,
+        False,
+        False,
+        version_of(session, Phase.LIVE),
+    )
+
+
+class Pair:
+    """Two or more coordinators that hear each other at once, save those cut."""
+
+    def __init__(self, vms):
+        self.nodes = {
+            one.vm: Coordinator(
+                one, tuple(vms), MembershipSettings(), LeaseSettings(), Random(1)
+            )
+            for one in vms
+        }
+        self.cut = set()
+        self.now = 100.0
+        self.seen = {name: [] for name in self.nodes}
+
+    def handle(self, name, event):
+        actions = self.nodes[name].handle(event, self.now)
+        self.seen[name] += [one for one in actions if not isinstance(one, SendMessage)]
+        for action in actions:
+            if isinstance(action, SendMessage) and (name, action.vm) not in self.cut:
+                self.handle(action.vm, Received(action.message))
+        return actions
+
+    def run(self, seconds):
+        for _ in range(round(seconds * 10)):
+            self.now += 0.1
+            for name in self.nodes:
+                self.handle(name, Tick())
+
+    def latest(self, name, kind):
+        return [one for one in self.seen[name] if isinstance(one, kind)][-1]
+
+    def call(self, name, event):
+        return self.handle(name, event)[0]
+
+
+def announced(pair, name, what):
+    refused = pair.call(name, Announce(what))
+    return pair.call(name, Announce(what, refused.ticket))
+
+
+def test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds():
+    pair = Pair([vm("a"), vm("b"), vm("c")])
+    pair.run(2)
+    assert [one.vm for one in pair.latest("a", ViewChanged).live] == ["a", "b", "c"]
+    pair.cut = {("c", "a"), ("c", "b")}
+    pair.run(3)
+    for name in ("a", "b"):
+        view = pair.latest(name, ViewChanged)
+        assert [one.vm for one in view.live] == ["a", "b"]
+        assert view.lost == ("c",)
+    assert [one.vm for one in pair.latest("c", ViewChanged).live] == ["c"]
+
+
+def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
+    pair = Pair([vm("a"), vm("b"), vm("z", "lpg-a")])
+    pair.run(2)
+    answer = announced(pair, "a", lease())
+    assert answer.state == LeaseState.GRANTED
+    for name in pair.nodes:
+        assert pair.latest(name, ServersChanged).fresh == (lease(),)
+    assert isinstance(pair.call("b", Depart(lease().server)), LeaseAnswer)
+    assert pair.call("b", Depart(lease().server)).state == LeaseState.IN_FORCE
+    for name in pair.nodes:
+        assert pair.latest(name, ServersChanged) == ServersChanged((), ())
