Let an envelope carry whatever the flow engine passes

Cause: the flow contract grows (origin of a lookup, state of a binding) and a fixed struct had to follow each field. Change: the passing record travels as msgpack behind a fixed header and a keyed digest.

--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -12,19 +12,20 @@
 import struct
 from typing import NamedTuple
 
+import msgspec
 from expression import Error, Ok, Result
-
-from kumquatmux_core.identity import Address
 from kumquatmux_core.problems import Problem
-from kumquatmux_flows.events import Binding, Passing, Stage
+from kumquatmux_flows.events import Passing
 
 MARK = 0xC1
 VERSION = 1
 DIGEST_BYTES = 8
 AUTHENTICATED_PACKET_BYTES = 40
-HEADER = struct.Struct("!BBBB6sQI")
-HEADER_BYTES = HEADER.size + DIGEST_BYTES
-NO_SERVER = bytes(6)
+HEADER = struct.Struct("!BBH")
+FIXED_BYTES = HEADER.size + DIGEST_BYTES
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Passing)
 
 
 class Passed(NamedTuple):
@@ -42,38 +43,31 @@
         packet: The IPv4 packet.
         key: Secret shared by the VMs of the deployment, 16 to 32 bytes.
     """
-    binding = passing.binding or Binding(Address(NO_SERVER), 0, 0)
-    header = HEADER.pack(
-        MARK,
-        VERSION,
-        passing.stage,
-        passing.hops,
-        binding.server,
-        binding.revision,
-        binding.epoch,
-    )
-    return b"".join((header, _digest(header, packet, key), packet))
+    fields = _encoder.encode(passing)
+    header = HEADER.pack(MARK, VERSION, len(fields))
+    digest = _digest(header, fields, packet, key)
+    return b"".join((header, digest, fields, packet))
 
 
 def unseal(data: bytes, *, key: bytes) -> Result[Passed, Problem]:
     """Return what an envelope carries, or why it is refused."""
-    if len(data) < HEADER_BYTES or data[0] != MARK:
+    if len(data) < FIXED_BYTES or data[0] != MARK:
         return Error(Problem("envelope-short", f"envelope of {len(data)} bytes"))
-    if data[1] != VERSION:
-        return Error(Problem("envelope-version", f"envelope version {data[1]}"))
-    packet = data[HEADER_BYTES:]
-    digest = _digest(data[: HEADER.size], packet, key)
-    if not hmac.compare_digest(digest, data[HEADER.size : HEADER_BYTES]):
+    _, version, fields_bytes = HEADER.unpack_from(data)
+    if version != VERSION:
+        return Error(Problem("envelope-version", f"envelope version {version}"))
+    packet_at = FIXED_BYTES + fields_bytes
+    fields = data[FIXED_BYTES:packet_at]
+    packet = data[packet_at:]
+    digest = _digest(data[: HEADER.size], fields, packet, key)
+    if not hmac.compare_digest(digest, data[HEADER.size : FIXED_BYTES]):
         return Error(Problem("envelope-digest", "made with another key"))
-    _, _, stage, hops, server, revision, epoch = HEADER.unpack_from(data)
-    if stage not in Stage._value2member_map_:
-        return Error(Problem("envelope-stage", f"unknown stage {stage}"))
-    binding = None
-    if server != NO_SERVER:
-        binding = Binding(Address(server), revision, epoch)
-    return Ok(Passed(Passing(Stage(stage), hops, binding), packet))
+    try:
+        return Ok(Passed(_decoder.decode(fields), packet))
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Error(Problem("envelope-fields", str(error)))
 
 
-def _digest(header: bytes, packet: bytes, key: bytes) -> bytes:
-    signed = header + packet[:AUTHENTICATED_PACKET_BYTES]
+def _digest(header: bytes, fields: bytes, packet: bytes, key: bytes) -> bytes:
+    signed = b"".join((header, fields, packet[:AUTHENTICATED_PACKET_BYTES]))
     return hashlib.blake2s(signed, key=key, digest_size=DIGEST_BYTES).digest()
