--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/control/__init__.py
@@ -0,0 +1,3 @@
+"""The control daemon."""
+
+from __future__ import annotations
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/keys/__init__.py
@@ -0,0 +1,3 @@
+"""Keys, certificates and tokens."""
+
+from __future__ import annotations
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/operators/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' HTTP API."""
+
+from __future__ import annotations
