Name the messages that serve operators across VMs

Operators want one screen over all VMs and to drain a server wherever its lease is held. ReportRequest, VmReport, DrainRequest and DrainAnswer join the registry together with the distribution's messages.

--- a/libs/daemons/src/kumquatmux_daemons/transport/registry.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from kumquatmux_core.codec import Registry, registry
+from kumquatmux_daemons.reports import MESSAGE_TYPES as REPORT_MESSAGES
 from kumquatmux_membership.events import (
     Heartbeat,
     LeaseRequest,
@@ -10,6 +11,7 @@
     ProbeAnswer,
     ProbeRequest,
 )
+from kumquatmux_settings.messages import MESSAGE_TYPES as SETTINGS_MESSAGES
 
 MEMBERSHIP_MESSAGES = {
     100: Heartbeat,
@@ -22,4 +24,4 @@
 
 def all_messages() -> Registry:
     """Return the registry of every message of this protocol version."""
-    return registry({**MEMBERSHIP_MESSAGES})
+    return registry({**MEMBERSHIP_MESSAGES, **SETTINGS_MESSAGES, **REPORT_MESSAGES})
--- a/libs/settings/src/kumquatmux_settings/messages.py
+++ b/libs/settings/src/kumquatmux_settings/messages.py
@@ -76,4 +76,10 @@
 
 Message = DeltaRequest | Delta | Snapshot | Current
 
-MESSAGE_TYPES: tuple[type, ...] = (DeltaRequest, Delta, Snapshot, Current)
+MESSAGE_TYPES: dict[int, type] = {
+    0x0401: DeltaRequest,
+    0x0402: Delta,
+    0x0403: Snapshot,
+    0x0404: Current,
+}
+"""Message types by kind, to be merged into the registry of a channel."""
