Replicate a log as a pure state machine

Cause: accepted settings have to survive lost VMs and disks, and no outside store exists. Change: leader election with pre-vote and check-quorum, replication,

typed events in and typed actions out. A replica is one data folder, so that a VM with a lost folder is another replica and cannot vote again for the lost one.

--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -0,0 +1,267 @@
+"""State of a replica and the steps that every role shares."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from kumquatmux_agreement.election import Election
+from kumquatmux_agreement.entries import (
+    DurableState,
+    Entry,
+    EntryKind,
+    ReplicaId,
+    Snapshot,
+    VoteRecord,
+)
+from kumquatmux_agreement.events import (
+    Action,
+    Apply,
+    Outcome,
+    Persist,
+    Reply,
+    Role,
+    RoleChanged,
+    Send,
+    TakeSnapshot,
+)
+from kumquatmux_agreement.leadership import Leadership
+from kumquatmux_agreement.log import Log
+from kumquatmux_agreement.messages import Message
+from kumquatmux_agreement.settings import ReplicaSettings
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import VmId
+from kumquatmux_core.problems import Problem
+
+
+class PendingPersist:
+    """A ``Persist`` that has not been confirmed.
+
+    Attributes:
+        last_index: Entry up to which the log is synced once it is.
+        then: Actions that have to wait for it.
+    """
+
+    def __init__(self, last_index: int) -> None:
+        self.last_index = last_index
+        self.then: list[Action] = []
+
+
+class IncomingSnapshot:
+    """A snapshot that arrives in parts.
+
+    Attributes:
+        log_index: Last entry it contains.
+        term: Term of the leader that sends it.
+        data: What has arrived without a gap.
+    """
+
+    def __init__(self, index: int, term: int) -> None:
+        self.log_index = index
+        self.term = term
+        self.data = bytearray()
+
+
+class ReplicaCore:
+    """What a replica knows, whatever its role.
+
+    Attributes:
+        settings: Who it is and how it keeps time.
+        random: Source of election timeouts.
+        vote: Its term and vote.
+        log: Its log.
+        synced: Last entry known to be on its own disk.
+        commit: Last entry known to be committed.
+        role: What it is at the moment.
+        leader: The leader it follows, if known.
+        leadership: What it keeps while it leads.
+        election: The votes it gathers as a candidate.
+        incoming: The snapshot that arrives.
+        now: The caller's clock, in seconds.
+        clock: Steady clock in seconds: it never goes back, and counts a gap
+            between two events as ``clock_gap_s`` at most.
+        heard_at: When a leader was heard last, on the steady clock.
+        election_at: When it stands for election, on the steady clock.
+        out: The actions of the event being handled.
+    """
+
+    def __init__(
+        self, settings: ReplicaSettings, restored: DurableState, random: Random
+    ) -> None:
+        self.settings = settings
+        self.random = random
+        self.vote = restored.vote
+        self.log = Log(restored.snapshot, restored.entries)
+        self.synced = self.log.last_index
+        self.commit = restored.snapshot.log_index
+        self.role = Role.FOLLOWER
+        self.leader: ReplicaId | None = None
+        self.leadership: Leadership | None = None
+        self.election: Election | None = None
+        self.incoming: IncomingSnapshot | None = None
+        self.failure: Problem | None = None
+        self.now = -math.inf
+        self.clock = 0.0
+        self.heard_at = 0.0
+        self.join_at = 0.0
+        self.election_at = self.next_election_at()
+        self.snapshot_asked = restored.snapshot.log_index
+        self.persist_number = 0
+        self.unsynced: dict[int, PendingPersist] = {}
+        self.out: list[Action] = []
+        self.role = self.idle_role()
+
+    @property
+    def me(self) -> ReplicaId:
+        """The name of this replica."""
+        return self.settings.replica
+
+    @property
+    def term(self) -> int:
+        """The term it is in."""
+        return self.vote.term
+
+    def next_election_at(self) -> float:
+        """Return a random time at which to stand for election."""
+        timeout = self.settings.election_timeout_s
+        return self.clock + timeout * (1 + self.random.random())
+
+    def advance_clock(self, now: float) -> None:
+        """Take the caller's clock; forget what a jump of it makes untrue."""
+        gap = now - self.now if math.isfinite(self.now) else 0.0
+        self.now = now
+        self.clock += min(max(gap, 0.0), self.settings.clock_gap_s)
+        has_jumped = not 0.0 <= gap <= self.settings.clock_gap_s
+        if has_jumped and self.leadership is not None:
+            self.leadership.forget_times()
+
+    def idle_role(self) -> Role:
+        """Return the role it has when it neither leads nor stands."""
+        configuration = self.log.configuration
+        if self.me in configuration.voters:
+            return Role.FOLLOWER
+        if self.me in configuration.learners:
+            return Role.LEARNER
+        return Role.OUTSIDER
+
+    def set_role(self, role: Role, leader: ReplicaId | None) -> None:
+        """Change role or leader and tell about it."""
+        if (role, leader) == (self.role, self.leader):
+            return
+        self.role = role
+        self.leader = leader
+        log_decision(
+            "agreement-role", replica=self.me, role=role, term=self.term, leader=leader
+        )
+        self.out.append(RoleChanged(role, self.term, leader))
+
+    def send(self, message: Message, to: VmId) -> None:
+        """Send a message at once."""
+        self.out.append(Send(to, message))
+
+    def send_after_sync(self, message: Message, to: VmId) -> None:
+        """Send a message once all that was asked for is synced."""
+        if self.unsynced:
+            last = next(reversed(self.unsynced.values()))
+            last.then.append(Send(to, message))
+        else:
+            self.send(message, to)
+
+    def persist(
+        self,
+        *,
+        vote: VoteRecord | None = None,
+        entries: tuple[Entry, ...] = (),
+        snapshot: Snapshot | None = None,
+        keep_entries: bool = True,
+    ) -> None:
+        """Ask for something to be made durable."""
+        self.persist_number += 1
+        number = self.persist_number
+        self.unsynced[number] = PendingPersist(self.log.last_index)
+        self.out.append(Persist(number, vote, entries, snapshot, keep_entries))
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Append entries to the log and ask for them to be synced."""
+        first = entries[0].log_index
+        if first <= self.commit:
+            raise AssertionError(f"committed entry {first} would be replaced")
+        self.synced = min(self.synced, first - 1)
+        for pending in self.unsynced.values():
+            pending.last_index = min(pending.last_index, first - 1)
+        self.log.append(entries)
+        self.persist(entries=entries)
+        if any(entry.kind == EntryKind.CONFIGURATION for entry in entries):
+            self.configuration_changed()
+
+    def configuration_changed(self) -> None:
+        """Follow the latest configuration of the log."""
+        log_decision(
+            "agreement-configuration",
+            replica=self.me,
+            index=self.log.configuration_index,
+            voters=",".join(map(str, self.log.configuration.voters)),
+            learners=",".join(map(str, self.log.configuration.learners)),
+        )
+        if self.leadership is not None:
+            following = self.log.last_index + 1
+            self.leadership.follow(self.log.configuration, following, self.clock)
+        elif self.role not in (Role.CANDIDATE, Role.FAILED):
+            self.set_role(self.idle_role(), self.leader)
+
+    def enter_term(self, term: int, leader: ReplicaId | None) -> None:
+        """Move to a later term as a follower."""
+        self.vote = VoteRecord(term)
+        self.persist(vote=self.vote)
+        self.stop_leading("a later term began")
+        self.set_role(self.idle_role(), leader)
+
+    def stop_leading(self, reason: str) -> None:
+        """Give up leading or standing; answer what is owed."""
+        self.election = None
+        leadership = self.leadership
+        self.leadership = None
+        if leadership is None:
+            return
+        log_decision("agreement-step-down", replica=self.me, reason=reason)
+        unknown = Problem("outcome-unknown", f"the leader stepped down: {reason}")
+        for token in leadership.pending.values():
+            self.out.append(Reply(token, Outcome.UNKNOWN, 0, unknown, self.leader))
+        refused = Problem("not-leader", f"the leader stepped down: {reason}")
+        for read in leadership.reads:
+            self.out.append(Reply(read.token, Outcome.REFUSED, 0, refused))
+        self.election_at = self.next_election_at()
+
+    def commit_up_to(self, index: int) -> None:
+        """Take entries as committed, have them applied and answer for them."""
+        if index <= self.commit:
+            return
+        entries = self.log.between(self.commit + 1, index)
+        self.commit = index
+        data = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
+        if data:
+            self.out.append(Apply(data))
+        if self.leadership is not None:
+            self.answer_committed(entries)
+        due = self.snapshot_asked + self.settings.snapshot_entries
+        if index >= due:
+            self.snapshot_asked = index
+            self.out.append(TakeSnapshot(index))
+
+    def answer_committed(self, entries: tuple[Entry, ...]) -> None:
+        """Answer the proposals that these entries carry out."""
+        leadership = self.leadership
+        if leadership is None:
+            return
+        for entry in entries:
+            token = leadership.pending.pop(entry.log_index, None)
+            if token is not None:
+                reply = Reply(token, Outcome.COMMITTED, entry.log_index, None, self.me)
+                self.out.append(reply)
+
+    def fail(self, problem: Problem) -> None:
+        """Take no further part: what is on the disk is no longer known."""
+        self.failure = problem
+        self.unsynced.clear()
+        self.stop_leading(str(problem))
+        self.set_role(Role.FAILED, None)
--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -0,0 +1,127 @@
+"""What a follower does with the leader's entries and snapshots."""
+
+from __future__ import annotations
+
+from kumquatmux_agreement.core import IncomingSnapshot, ReplicaCore
+from kumquatmux_agreement.entries import Snapshot
+from kumquatmux_agreement.events import InstallSnapshot
+from kumquatmux_agreement.messages import (
+    AppendReply,
+    AppendRequest,
+    SnapshotChunk,
+    SnapshotReply,
+)
+
+
+def append_asked(core: ReplicaCore, message: AppendRequest) -> None:
+    """Take entries from a leader, or say where the logs part."""
+    if not _is_from_leader(core, message):
+        _answer(core, message, is_matched=False, index=core.log.last_index + 1)
+        return
+    last_carried = message.previous_index + len(message.entries)
+    if last_carried <= core.log.base_index:
+        _answer(core, message, is_matched=True, index=core.commit)
+        return
+    previous = message.previous_index
+    is_inside = previous < core.log.base_index
+    if not is_inside and core.log.term_at(previous) != message.previous_term:
+        hint = core.log.conflict_hint(previous)
+        _answer(core, message, is_matched=False, index=hint)
+        return
+    unknown = core.log.unknown_part(message.entries)
+    if unknown:
+        core.append(unknown)
+    core.commit_up_to(min(message.commit, last_carried))
+    _answer(core, message, is_matched=True, index=last_carried)
+
+
+def chunk_asked(core: ReplicaCore, message: SnapshotChunk) -> None:
+    """Take a part of a snapshot; install it once it is whole."""
+    if not _is_from_leader(core, message):
+        _answer(core, message, is_matched=False, index=core.log.last_index + 1)
+        return
+    if message.log_index <= core.commit:
+        _answer(core, message, is_matched=True, index=core.commit)
+        return
+    incoming = core.incoming
+    is_other = incoming is None or incoming.log_index != message.log_index
+    if incoming is None or is_other or incoming.term != message.term:
+        incoming = IncomingSnapshot(message.log_index, message.term)
+        core.incoming = incoming
+    if message.offset == len(incoming.data):
+        incoming.data += message.data
+    if len(incoming.data) < message.total:
+        _answer_chunk(core, message, len(incoming.data))
+        return
+    snapshot = Snapshot(
+        message.log_index,
+        message.index_term,
+        message.configuration,
+        bytes(incoming.data),
+    )
+    _install(core, snapshot)
+    _answer(core, message, is_matched=True, index=snapshot.log_index)
+
+
+def _install(core: ReplicaCore, snapshot: Snapshot) -> None:
+    core.incoming = None
+    is_held = core.log.term_at(snapshot.log_index) == snapshot.term
+    if is_held:
+        core.log.compact(snapshot, keep=0)
+    else:
+        core.log.reset(snapshot)
+        core.synced = snapshot.log_index
+        for pending in core.unsynced.values():
+            pending.last_index = snapshot.log_index
+    core.commit = snapshot.log_index
+    core.snapshot_asked = snapshot.log_index
+    core.persist(snapshot=snapshot, keep_entries=is_held)
+    core.out.append(InstallSnapshot(snapshot))
+    core.configuration_changed()
+
+
+def _is_from_leader(core: ReplicaCore, message: AppendRequest | SnapshotChunk) -> bool:
+    """Follow the sender if its term is not over."""
+    if message.term < core.term:
+        return False
+    if message.term > core.term:
+        core.enter_term(message.term, message.sender)
+    if core.leadership is not None:
+        raise AssertionError(f"two leaders in term {message.term}")
+    core.election = None
+    core.set_role(core.idle_role(), message.sender)
+    core.heard_at = core.clock
+    core.election_at = core.next_election_at()
+    return True
+
+
+def _answer(
+    core: ReplicaCore,
+    message: AppendRequest | SnapshotChunk,
+    *,
+    is_matched: bool,
+    index: int,
+) -> None:
+    reply = AppendReply(
+        core.settings.cluster,
+        core.me,
+        message.sender,
+        core.term,
+        is_matched,
+        index,
+        message.round,
+    )
+    core.send_after_sync(reply, message.sender.vm)
+
+
+def _answer_chunk(core: ReplicaCore, message: SnapshotChunk, received: int) -> None:
+    reply = SnapshotReply(
+        core.settings.cluster,
+        core.me,
+        message.sender,
+        core.term,
+        message.log_index,
+        received,
+        message.round,
+    )
+    core.send_after_sync(reply, message.sender.vm)
--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -0,0 +1,163 @@
+"""What a leader keeps while it leads."""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from kumquatmux_agreement.entries import Configuration, ReplicaId
+from kumquatmux_agreement.log import Log
+from kumquatmux_agreement.settings import ReplicaSettings
+
+ROUNDS_HELD = 64
+"""Rounds whose time of sending is remembered."""
+
+
+class Progress:
+    """How far one follower is.
+
+    Attributes:
+        match: Entry up to which its synced log equals the leader's.
+        next: Entry to be sent next.
+        round: Latest round it answered.
+        confirmed: When that round was sent by the leader's clock, in seconds.
+        heard_at: When it last answered, on the replica's steady clock.
+        snapshot_index: The snapshot being sent to it, -1 for none.
+        received: Bytes of it that have arrived.
+        told_commit: Commit index it was last told.
+    """
+
+    def __init__(self, following: int, heard_at: float) -> None:
+        self.match = 0
+        self.next = following
+        self.round = 0
+        self.confirmed = -math.inf
+        self.heard_at = heard_at
+        self.snapshot_index = -1
+        self.received = 0
+        self.told_commit = -1
+
+
+class PendingRead(NamedTuple):
+    """A read that waits for a round to be answered by a quorum."""
+
+    token: str
+    round: int
+
+
+class Leadership:
+    """The leader's knowledge of its followers and of what it owes answers for.
+
+    Attributes:
+        progress: Each other member's progress.
+        pending: Token to answer by index of a proposal.
+        reads: Reads that wait.
+        joining: When replicas outside last asked to join, steady seconds.
+        round: Number of the latest round.
+        heartbeat_at: When the next heartbeat is due, steady seconds.
+        since: When it began to lead, steady seconds.
+        first_index: Its first entry; nothing is known committed before that one.
+    """
+
+    def __init__(
+        self, settings: ReplicaSettings, log: Log, clock: float, now: float
+    ) -> None:
+        self.settings = settings
+        self.progress: dict[ReplicaId, Progress] = {}
+        self.pending: dict[int, str] = {}
+        self.reads: list[PendingRead] = []
+        self.joining: dict[ReplicaId, float] = {}
+        self.round = 0
+        self.sent_at: dict[int, float] = {}
+        self.heartbeat_at = clock
+        self.since = clock
+        self.first_index = log.last_index + 1
+        self.follow(log.configuration, log.last_index + 1, clock)
+        self.begin_round(now)
+
+    def follow(self, configuration: Configuration, following: int, now: float) -> None:
+        """Keep progress for just the other members of a configuration."""
+        others = [
+            member
+            for member in configuration.members
+            if member != self.settings.replica
+        ]
+        kept = {member: self.progress.get(member) for member in others}
+        self.progress = {
+            member: progress or Progress(following, now)
+            for member, progress in kept.items()
+        }
+
+    def begin_round(self, now: float) -> None:
+        """Number the messages sent from now on."""
+        self.round += 1
+        self.sent_at[self.round] = now
+        self.sent_at.pop(self.round - ROUNDS_HELD, None)
+
+    def forget_times(self) -> None:
+        """Trust no time of sending from before a jump of the clock."""
+        self.sent_at.clear()
+        for progress in self.progress.values():
+            progress.confirmed = -math.inf
+
+    def answered(self, sender: ReplicaId, number: int, clock: float) -> Progress | None:
+        """Note an answer to a round; None if the sender is no member."""
+        progress = self.progress.get(sender)
+        if progress is None:
+            return None
+        progress.heard_at = clock
+        progress.round = max(progress.round, number)
+        sent = self.sent_at.get(number, -math.inf)
+        progress.confirmed = max(progress.confirmed, sent)
+        return progress
+
+    def lease_until(self, configuration: Configuration, now: float) -> float:
+        """Return until when no other leader can exist, by the leader's clock."""
+        mine = self.settings.replica
+        times = [
+            now if voter == mine else self.progress[voter].confirmed
+            for voter in configuration.voters
+        ]
+        span = self.settings.election_timeout_s * self.settings.lease_share
+        return _agreed(times, configuration.quorum) + span
+
+    def answered_round(self, configuration: Configuration) -> int:
+        """Return the latest round that a quorum has answered."""
+        mine = self.settings.replica
+        rounds = [
+            self.round if voter == mine else self.progress[voter].round
+            for voter in configuration.voters
+        ]
+        return int(_agreed(rounds, configuration.quorum))
+
+    def matched(self, configuration: Configuration, synced: int) -> int:
+        """Return the last entry that a quorum has synced."""
+        mine = self.settings.replica
+        indexes = [
+            synced if voter == mine else self.progress[voter].match
+            for voter in configuration.voters
+        ]
+        return int(_agreed(indexes, configuration.quorum))
+
+    def live(self, clock: float) -> frozenset[ReplicaId]:
+        """Return the members heard within the election timeout, itself included."""
+        limit = clock - self.settings.election_timeout_s
+        heard = {
+            member
+            for member, progress in self.progress.items()
+            if progress.heard_at > limit
+        }
+        return frozenset(heard | {self.settings.replica})
+
+    def joining_lately(self, clock: float) -> tuple[ReplicaId, ...]:
+        """Return who asked to join lately, by name."""
+        limit = clock - 3 * self.settings.join_period_s
+        recent = {who: at for who, at in self.joining.items() if at > limit}
+        self.joining = recent
+        return tuple(sorted(who for who in recent if who not in self.progress))
+
+
+def _agreed(values: list[float] | list[int], quorum: int) -> float:
+    """Return the highest value that a quorum has reached."""
+    ordered = sorted(values, reverse=True)
+    return ordered[quorum - 1] if len(ordered) >= quorum > 0 else 0
--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -0,0 +1,295 @@
+"""What a leader does: entries out, acknowledgements in, membership one step on."""
+
+from __future__ import annotations
+
+from kumquatmux_agreement.core import ReplicaCore
+from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, ReplicaId
+from kumquatmux_agreement.events import Outcome, Reply, Role
+from kumquatmux_agreement.leadership import Leadership, PendingRead, Progress
+from kumquatmux_agreement.membership import (
+    ALLOWED_SIZES,
+    MembershipView,
+    has_live_quorum,
+    next_configuration,
+)
+from kumquatmux_agreement.messages import (
+    AppendReply,
+    AppendRequest,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from kumquatmux_core.identity import VmId
+from kumquatmux_core.problems import Problem
+
+
+def become_leader(core: ReplicaCore) -> None:
+    """Begin to lead: an entry of the own term first."""
+    core.election = None
+    core.leadership = Leadership(core.settings, core.log, core.clock, core.now)
+    core.set_role(Role.LEADER, core.me)
+    append_entry(core, EntryKind.EMPTY)
+    broadcast(core)
+
+
+def append_entry(
+    core: ReplicaCore,
+    kind: EntryKind,
+    *,
+    data: bytes = b"",
+    configuration: Configuration | None = None,
+) -> int:
+    """Append an entry of the own term and return its index."""
+    index = core.log.last_index + 1
+    core.append((Entry(index, core.term, kind, data, configuration),))
+    return index
+
+
+def propose(core: ReplicaCore, leadership: Leadership, data: bytes, token: str) -> None:
+    """Put bytes into the log, or refuse before they enter it."""
+    problem = _refusal(core, leadership, data)
+    if problem is not None:
+        core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        return
+    index = append_entry(core, EntryKind.DATA, data=data)
+    leadership.pending[index] = token
+    send_entries(core, leadership)
+
+
+def read(core: ReplicaCore, leadership: Leadership, token: str) -> None:
+    """Answer a read at once under the lease, else after a round."""
+    if core.commit < leadership.first_index:
+        problem = Problem("not-ready", "the leader has not committed an entry yet")
+        core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        return
+    if leadership.lease_until(core.log.configuration, core.now) > core.now:
+        core.out.append(Reply(token, Outcome.CURRENT, core.commit, None, core.me))
+        return
+    leadership.reads.append(PendingRead(token, leadership.round + 1))
+    broadcast(core)
+    answer_reads(core, leadership)
+
+
+def change_membership(
+    core: ReplicaCore, leadership: Leadership, vms: tuple[VmId, ...], token: str
+) -> None:
+    """Put the wanted VMs into the log; the steps follow one at a time."""
+    current = core.log.configuration
+    wanted = current._replace(vms=tuple(sorted(set(vms))))
+    problem = None
+    if len(wanted.vms) not in ALLOWED_SIZES or len(vms) != len(wanted.vms):
+        detail = f"{len(vms)} control VMs named, 1, 3 or 5 different ones allowed"
+        problem = Problem("membership-size", detail)
+    elif not _may_change(core, leadership):
+        problem = Problem("membership-busy", "another membership change is under way")
+    elif not has_live_quorum(wanted, leadership.live(core.clock)):
+        problem = Problem("membership-quorum", "too few of the voters answer")
+    if problem is not None:
+        core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        return
+    index = append_entry(core, EntryKind.CONFIGURATION, configuration=wanted)
+    leadership.pending[index] = token
+    send_entries(core, leadership)
+
+
+def tick(core: ReplicaCore, leadership: Leadership) -> None:
+    """Step down without a quorum, send heartbeats, move membership on."""
+    live = leadership.live(core.clock)
+    has_grace = core.clock - leadership.since < core.settings.election_timeout_s
+    if not has_grace and not has_live_quorum(core.log.configuration, live):
+        core.stop_leading("no quorum answers")
+        core.set_role(core.idle_role(), None)
+        return
+    if core.clock >= leadership.heartbeat_at:
+        broadcast(core)
+    if _may_change(core, leadership):
+        _move_membership(core, leadership)
+
+
+def broadcast(core: ReplicaCore) -> None:
+    """Begin a round and send every member what it lacks, or a heartbeat."""
+    leadership = core.leadership
+    if leadership is None:
+        return
+    leadership.begin_round(core.now)
+    leadership.heartbeat_at = core.clock + core.settings.heartbeat_s
+    for member, progress in leadership.progress.items():
+        progress.next = max(progress.match + 1, min(progress.next, _resend(progress)))
+        _send_next(core, leadership, member, progress)
+
+
+def send_entries(core: ReplicaCore, leadership: Leadership) -> None:
+    """Send members the entries they lack, as far as the window allows."""
+    for member, progress in leadership.progress.items():
+        has_more = progress.next <= core.log.last_index
+        if has_more and progress.snapshot_index < 0 and _has_window(core, progress):
+            _send_next(core, leadership, member, progress)
+
+
+def append_answered(core: ReplicaCore, message: AppendReply) -> None:
+    """Take an acknowledgement."""
+    leadership = core.leadership
+    if leadership is None or message.term != core.term:
+        return
+    sender = message.sender
+    progress = leadership.answered(sender, message.round, core.clock)
+    if progress is None:
+        return
+    if message.is_matched:
+        progress.snapshot_index = -1
+        progress.match = max(progress.match, message.log_index)
+        progress.next = max(progress.next, progress.match + 1)
+        advance_commit(core)
+    else:
+        hint = min(message.log_index, core.log.last_index + 1)
+        progress.next = max(progress.match + 1, hint)
+        _send_next(core, leadership, sender, progress)
+    if core.leadership is not leadership:
+        return
+    answer_reads(core, leadership)
+    has_more = progress.next <= core.log.last_index
+    if message.is_matched and has_more and _has_window(core, progress):
+        _send_next(core, leadership, sender, progress)
+
+
+def snapshot_answered(core: ReplicaCore, message: SnapshotReply) -> None:
+    """Send the next part of a snapshot."""
+    leadership = core.leadership
+    if leadership is None or message.term != core.term:
+        return
+    progress = leadership.answered(message.sender, message.round, core.clock)
+    if progress is None or progress.snapshot_index != message.log_index:
+        return
+    has_moved = message.received != progress.received
+    progress.received = message.received
+    answer_reads(core, leadership)
+    if has_moved:
+        _send_next(core, leadership, message.sender, progress)
+
+
+def advance_commit(core: ReplicaCore) -> None:
+    """Commit what a quorum has synced, if it is of the own term."""
+    leadership = core.leadership
+    if leadership is None:
+        return
+    index = leadership.matched(core.log.configuration, core.synced)
+    if index <= core.commit or core.log.term_at(index) != core.term:
+        return
+    core.commit_up_to(index)
+    if core.log.configuration_index <= index:
+        if core.me not in core.log.configuration.voters:
+            core.stop_leading("it is no longer a voter")
+            core.set_role(core.idle_role(), None)
+            return
+    for member, progress in leadership.progress.items():
+        is_behind = progress.told_commit < core.commit <= progress.match
+        if is_behind:
+            _send_next(core, leadership, member, progress)
+
+
+def answer_reads(core: ReplicaCore, leadership: Leadership) -> None:
+    """Answer the reads whose round a quorum has answered."""
+    if not leadership.reads:
+        return
+    answered = leadership.answered_round(core.log.configuration)
+    waiting = leadership.reads
+    leadership.reads = [read for read in waiting if read.round > answered]
+    for pending in waiting:
+        if pending.round <= answered:
+            reply = Reply(pending.token, Outcome.CURRENT, core.commit, None, core.me)
+            core.out.append(reply)
+
+
+def _refusal(core: ReplicaCore, leadership: Leadership, data: bytes) -> Problem | None:
+    if not core.log.configuration.is_ready:
+        voters = len(core.log.configuration.voters)
+        wanted = len(core.log.configuration.vms)
+        return Problem("too-few-voters", f"{voters} of {wanted} control VMs vote")
+    if len(data) > core.settings.entry_bytes:
+        return Problem("entry-too-long", f"an entry of {len(data)} bytes")
+    if len(leadership.pending) >= core.settings.pending_entries:
+        return Problem("too-many-pending", "too many entries wait to be committed")
+    return None
+
+
+def _may_change(core: ReplicaCore, leadership: Leadership) -> bool:
+    has_own = core.commit >= leadership.first_index
+    return has_own and core.commit >= core.log.configuration_index
+
+
+def _move_membership(core: ReplicaCore, leadership: Leadership) -> None:
+    configuration = core.log.configuration
+    caught_up = frozenset(
+        learner
+        for learner in configuration.learners
+        if leadership.progress[learner].match >= core.commit
+    )
+    live = leadership.live(core.clock)
+    joining = leadership.joining_lately(core.clock)
+    view = MembershipView(core.me, joining, live, caught_up)
+    following = next_configuration(configuration, view)
+    if following is not None:
+        append_entry(core, EntryKind.CONFIGURATION, configuration=following)
+        broadcast(core)
+
+
+def _has_window(core: ReplicaCore, progress: Progress) -> bool:
+    return progress.next <= progress.match + core.settings.window_entries
+
+
+def _resend(progress: Progress) -> int:
+    """Return where to go on after a round without an acknowledgement."""
+    return progress.match + 1 if progress.match else progress.next
+
+
+def _send_next(
+    core: ReplicaCore, leadership: Leadership, member: ReplicaId, progress: Progress
+) -> None:
+    if progress.next <= core.log.base_index:
+        _send_chunk(core, leadership, member, progress)
+        return
+    progress.snapshot_index = -1
+    previous = progress.next - 1
+    previous_term = core.log.term_at(previous)
+    if previous_term is None:
+        raise AssertionError(f"entry {previous} is not in the log")
+    entries = core.log.batch(
+        progress.next, core.log.last_index, core.settings.batch_bytes
+    )
+    progress.next += len(entries)
+    progress.told_commit = core.commit
+    message = AppendRequest(
+        core.settings.cluster,
+        core.me,
+        member,
+        core.term,
+        previous,
+        previous_term,
+        entries,
+        core.commit,
+        leadership.round,
+    )
+    core.send(message, member.vm)
+
+
+def _send_chunk(
+    core: ReplicaCore, leadership: Leadership, member: ReplicaId, progress: Progress
+) -> None:
+    snapshot = core.log.snapshot
+    if progress.snapshot_index != snapshot.log_index:
+        progress.snapshot_index = snapshot.log_index
+        progress.received = 0
+    start = progress.received
+    message = SnapshotChunk(
+        core.settings.cluster,
+        core.me,
+        member,
+        core.term,
+        snapshot.log_index,
+        snapshot.term,
+        snapshot.configuration,
+        start,
+        len(snapshot.data),
+        snapshot.data[start : start + core.settings.chunk_bytes],
+        leadership.round,
+    )
+    core.send(message, member.vm)
--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -0,0 +1,132 @@
+"""The log of one replica as it stands in memory."""
+
+from __future__ import annotations
+
+from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, Snapshot
+
+
+class Log:
+    """Entries without gaps after a base, and the snapshot.
+
+    Attributes:
+        snapshot: The latest snapshot.
+        base_index: Entry before the first one held, at most the snapshot's.
+        base_term: Term of that entry.
+        entries: The entries held.
+        configurations: Indexes of configuration entries held with their content,
+            after that of the base.
+    """
+
+    def __init__(self, snapshot: Snapshot, entries: tuple[Entry, ...]) -> None:
+        self.reset(snapshot)
+        self.append(entries)
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Hold a snapshot and nothing after it."""
+        self.snapshot = snapshot
+        self.base_index = snapshot.log_index
+        self.base_term = snapshot.term
+        self.entries: list[Entry] = []
+        self.configurations = [(snapshot.log_index, snapshot.configuration)]
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def configuration(self) -> Configuration:
+        """The latest configuration, committed or not."""
+        return self.configurations[-1][1]
+
+    @property
+    def configuration_index(self) -> int:
+        """Index of the entry the latest configuration came with."""
+        return self.configurations[-1][0]
+
+    def configuration_at(self, index: int) -> Configuration:
+        """Return the configuration in force after an entry."""
+        held = [known for at, known in self.configurations if at <= index]
+        return held[-1]
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, None if it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def between(self, first: int, last: int) -> tuple[Entry, ...]:
+        """Return the entries from first to last, both included."""
+        start = first - self.base_index - 1
+        return tuple(self.entries[start : last - self.base_index])
+
+    def batch(self, first: int, last: int, size_bytes: int) -> tuple[Entry, ...]:
+        """Return entries from first on, at least one, up to a size in bytes."""
+        chosen: list[Entry] = []
+        taken = 0
+        for entry in self.between(first, last):
+            if chosen and taken + len(entry.data) > size_bytes:
+                break
+            chosen.append(entry)
+            taken += len(entry.data)
+        return tuple(chosen)
+
+    def unknown_part(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
+        """Return the entries from the first that the log does not hold."""
+        for place, entry in enumerate(entries):
+            if entry.log_index <= self.base_index:
+                continue
+            if self.term_at(entry.log_index) != entry.term:
+                return entries[place:]
+        return ()
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Append entries; what they overlap with is dropped first."""
+        if not entries:
+            return
+        self._drop_from(entries[0].log_index)
+        if entries[0].log_index != self.last_index + 1:
+            raise AssertionError(f"gap in the log before entry {entries[0].log_index}")
+        self.entries.extend(entries)
+        for entry in entries:
+            if entry.kind == EntryKind.CONFIGURATION and entry.configuration:
+                self.configurations.append((entry.log_index, entry.configuration))
+
+    def compact(self, snapshot: Snapshot, keep: int) -> None:
+        """Take a newer snapshot and hold only some entries up to it."""
+        self.snapshot = snapshot
+        base = max(self.base_index, snapshot.log_index - keep)
+        term = self.term_at(base)
+        if term is None:
+            raise AssertionError(f"snapshot {snapshot.log_index} beyond the log")
+        configuration = self.configuration_at(base)
+        self.entries = self.entries[base - self.base_index :]
+        later = [pair for pair in self.configurations if pair[0] > base]
+        self.configurations = [(base, configuration), *later]
+        self.base_index = base
+        self.base_term = term
+
+    def conflict_hint(self, index: int) -> int:
+        """Return where a leader should try again after a mismatch at an entry."""
+        if index > self.last_index:
+            return self.last_index + 1
+        term = self.term_at(index)
+        while index > self.base_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return max(index, self.base_index + 1)
+
+    def _drop_from(self, index: int) -> None:
+        if index > self.last_index:
+            return
+        if index <= self.snapshot.log_index:
+            raise AssertionError(f"entry {index} of the snapshot would be dropped")
+        del self.entries[index - self.base_index - 1 :]
+        kept = [pair for pair in self.configurations if pair[0] < index]
+        self.configurations = kept
--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -0,0 +1,103 @@
+"""One step at a time from the voters there are to the VMs that are wanted."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_agreement.entries import Configuration, ReplicaId
+
+ALLOWED_SIZES = (1, 3, 5)
+"""How many control VMs a cluster may have."""
+
+
+class MembershipView(NamedTuple):
+    """What a leader knows of replicas.
+
+    Attributes:
+        leader: The leader itself.
+        joining: Replicas outside the configuration that asked to join lately.
+        live: Members that answered lately, the leader included.
+        caught_up: Learners that hold all that is committed.
+    """
+
+    leader: ReplicaId
+    joining: tuple[ReplicaId, ...]
+    live: frozenset[ReplicaId]
+    caught_up: frozenset[ReplicaId]
+
+
+def has_live_quorum(configuration: Configuration, live: frozenset[ReplicaId]) -> bool:
+    """Return whether enough voters of a configuration answer."""
+    answering = [voter for voter in configuration.voters if voter in live]
+    return len(answering) >= configuration.quorum
+
+
+def next_configuration(
+    current: Configuration, view: MembershipView
+) -> Configuration | None:
+    """Return the next configuration to be agreed on, None if there is none.
+
+    Any two configurations in a row differ by one voter at most, so that their
+    quorums overlap.
+    """
+    steps = (_drop_learner, _add_learner, _drop_dead, _promote, _drop_surplus)
+    for step in steps:
+        following = step(current, view)
+        if following is None:
+            continue
+        if has_live_quorum(following, view.live):
+            return following
+    return None
+
+
+def _drop_learner(current: Configuration, view: MembershipView) -> Configuration | None:
+    replaced = {joining.vm for joining in view.joining}
+    replaced |= {voter.vm for voter in current.voters if voter in view.live}
+    for learner in current.learners:
+        is_stale = learner.vm in replaced and learner not in view.live
+        if learner.vm not in current.vms or is_stale:
+            return _without(current, learner)
+    return None
+
+
+def _add_learner(current: Configuration, view: MembershipView) -> Configuration | None:
+    learning = {learner.vm for learner in current.learners}
+    for joining in view.joining:
+        if joining.vm in current.vms and joining.vm not in learning:
+            return current._replace(learners=(*current.learners, joining))
+    return None
+
+
+def _drop_dead(current: Configuration, view: MembershipView) -> Configuration | None:
+    ready = {learner.vm for learner in view.caught_up}
+    for voter in current.voters:
+        if voter == view.leader or voter in view.live:
+            continue
+        if voter.vm in ready or (ready and voter.vm not in current.vms):
+            return _without(current, voter)
+    return None
+
+
+def _promote(current: Configuration, view: MembershipView) -> Configuration | None:
+    voting = {voter.vm for voter in current.voters}
+    for learner in current.learners:
+        if learner in view.caught_up and learner.vm not in voting:
+            smaller = _without(current, learner)
+            return smaller._replace(voters=(*current.voters, learner))
+    return None
+
+
+def _drop_surplus(current: Configuration, view: MembershipView) -> Configuration | None:
+    if len(current.voters) <= len(current.vms):
+        return None
+    unwanted = [voter for voter in current.voters if voter.vm not in current.vms]
+    unwanted.sort(key=lambda voter: (voter == view.leader, voter in view.live))
+    return _without(current, unwanted[0]) if unwanted else None
+
+
+def _without(current: Configuration, replica: ReplicaId) -> Configuration:
+    return Configuration(
+        current.vms,
+        tuple(voter for voter in current.voters if voter != replica),
+        tuple(learner for learner in current.learners if learner != replica),
+    )
--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -0,0 +1,267 @@
+"""One replica of the log: an event and the time in, actions out."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from random import Random
+from typing import NamedTuple
+
+from kumquatmux_agreement import following, leading, voting
+from kumquatmux_agreement.core import ReplicaCore
+from kumquatmux_agreement.entries import (
+    Configuration,
+    DurableState,
+    ReplicaId,
+    Snapshot,
+)
+from kumquatmux_agreement.events import (
+    Action,
+    ChangeMembership,
+    Event,
+    Outcome,
+    Persisted,
+    PersistFailed,
+    Propose,
+    Read,
+    Received,
+    Reply,
+    Role,
+    SnapshotTaken,
+    Tick,
+)
+from kumquatmux_agreement.messages import (
+    AppendReply,
+    AppendRequest,
+    JoinRequest,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from kumquatmux_agreement.settings import ReplicaSettings
+from kumquatmux_core.problems import Problem
+
+
+class ReplicaStatus(NamedTuple):
+    """What operators see of a replica.
+
+    Attributes:
+        role: What it is.
+        term: The term it is in.
+        leader: The leader if known.
+        commit: Last entry known to be committed.
+        last_index: Last entry of its log.
+        snapshot_index: Last entry of its snapshot.
+        configuration: Who takes part.
+        live: Members that answered lately, if it leads.
+        has_lease: Whether it may answer reads alone.
+        is_whole: Whether every wanted VM votes, and if it leads, holds all entries.
+    """
+
+    role: Role
+    term: int
+    leader: ReplicaId | None
+    commit: int
+    last_index: int
+    snapshot_index: int
+    configuration: Configuration
+    live: tuple[ReplicaId, ...]
+    has_lease: bool
+    is_whole: bool
+
+
+class Replica:
+    """One replica of the log.
+
+    The caller carries out the actions in order and reports each ``Persist``. Events
+    are to arrive at least every ``clock_gap_s`` seconds, ``Tick`` when nothing else.
+    """
+
+    def __init__(
+        self, settings: ReplicaSettings, restored: DurableState, random: Random
+    ) -> None:
+        """Start from what the disk holds.
+
+        Args:
+            settings: Who the replica is and how it keeps time.
+            restored: What it has made durable, ``founding_state`` or
+                ``joining_state`` at first.
+            random: Source of election timeouts.
+        """
+        self.core = ReplicaCore(settings, restored, random)
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Return the actions that follow an event.
+
+        Args:
+            event: What happened.
+            now: Monotonic time in seconds.
+        """
+        self.core.advance_clock(now)
+        if self.core.role == Role.FAILED:
+            self._refuse(event, "replica-failed", str(self.core.failure))
+        else:
+            self._on(event)
+        actions = self.core.out
+        self.core.out = []
+        return actions
+
+    def status(self) -> ReplicaStatus:
+        """Return what operators see."""
+        core = self.core
+        configuration = core.log.configuration
+        leadership = core.leadership
+        voting_vms = sorted(voter.vm for voter in configuration.voters)
+        is_whole = voting_vms == sorted(configuration.vms)
+        live: tuple[ReplicaId, ...] = ()
+        has_lease = False
+        if leadership is not None:
+            live = tuple(sorted(leadership.live(core.clock)))
+            has_lease = leadership.lease_until(configuration, core.now) > core.now
+            others = leadership.progress.values()
+            behind = [one for one in others if one.match < core.commit]
+            is_whole = is_whole and not behind
+        return ReplicaStatus(
+            core.role,
+            core.term,
+            core.leader,
+            core.commit,
+            core.log.last_index,
+            core.log.snapshot.log_index,
+            configuration,
+            live,
+            has_lease,
+            is_whole,
+        )
+
+    @singledispatchmethod
+    def _on(self, event: Event) -> None:
+        raise TypeError(f"unknown event {type(event).__name__}")
+
+    @_on.register
+    def _(self, event: Tick) -> None:
+        core = self.core
+        if core.leadership is not None:
+            leading.tick(core, core.leadership)
+            return
+        is_voter = core.me in core.log.configuration.voters
+        is_alone = core.log.configuration.voters == (core.me,)
+        if is_voter and (is_alone or core.clock >= core.election_at):
+            if core.election is None or core.clock >= core.election_at:
+                voting.stand(core)
+        elif core.role == Role.OUTSIDER and core.clock >= core.join_at:
+            self._ask_to_join()
+
+    @_on.register
+    def _(self, event: Propose) -> None:
+        if self.core.leadership is None:
+            self._refuse(event, "not-leader", "this replica does not lead")
+            return
+        leading.propose(self.core, self.core.leadership, event.data, event.token)
+
+    @_on.register
+    def _(self, event: Read) -> None:
+        if self.core.leadership is None:
+            self._refuse(event, "not-leader", "this replica does not lead")
+            return
+        leading.read(self.core, self.core.leadership, event.token)
+
+    @_on.register
+    def _(self, event: ChangeMembership) -> None:
+        leadership = self.core.leadership
+        if leadership is None:
+            self._refuse(event, "not-leader", "this replica does not lead")
+            return
+        leading.change_membership(self.core, leadership, event.vms, event.token)
+
+    @_on.register
+    def _(self, event: Persisted) -> None:
+        core = self.core
+        pending = core.unsynced.pop(event.number)
+        core.synced = pending.last_index
+        core.out.extend(pending.then)
+        if not core.unsynced:
+            voting.own_vote_synced(core)
+        leading.advance_commit(core)
+
+    @_on.register
+    def _(self, event: PersistFailed) -> None:
+        self.core.fail(event.problem)
+
+    @_on.register
+    def _(self, event: SnapshotTaken) -> None:
+        core = self.core
+        if event.log_index <= core.log.snapshot.log_index:
+            return
+        term = core.log.term_at(event.log_index)
+        if term is None or event.log_index > core.commit:
+            raise AssertionError(f"snapshot at {event.log_index} is not of this log")
+        configuration = core.log.configuration_at(event.log_index)
+        snapshot = Snapshot(event.log_index, term, configuration, event.data)
+        core.log.compact(snapshot, core.settings.keep_entries)
+        core.persist(snapshot=snapshot)
+
+    @_on.register
+    def _(self, event: Received) -> None:
+        message = event.message
+        if message.cluster != self.core.settings.cluster:
+            return
+        if not isinstance(message, JoinRequest) and message.to != self.core.me:
+            return
+        self._receive(message)
+
+    @singledispatchmethod
+    def _receive(self, message: object) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_receive.register
+    def _(self, message: VoteRequest) -> None:
+        voting.vote_asked(self.core, message)
+
+    @_receive.register
+    def _(self, message: VoteReply) -> None:
+        voting.vote_answered(self.core, message)
+
+    @_receive.register
+    def _(self, message: AppendRequest) -> None:
+        following.append_asked(self.core, message)
+
+    @_receive.register
+    def _(self, message: AppendReply) -> None:
+        if self._is_over(message):
+            return
+        leading.append_answered(self.core, message)
+
+    @_receive.register
+    def _(self, message: SnapshotChunk) -> None:
+        following.chunk_asked(self.core, message)
+
+    @_receive.register
+    def _(self, message: SnapshotReply) -> None:
+        if self._is_over(message):
+            return
+        leading.snapshot_answered(self.core, message)
+
+    @_receive.register
+    def _(self, message: JoinRequest) -> None:
+        if self.core.leadership is not None:
+            self.core.leadership.joining[message.sender] = self.core.clock
+
+    def _is_over(self, message: AppendReply | SnapshotReply) -> bool:
+        if message.term <= self.core.term:
+            return False
+        self.core.enter_term(message.term, None)
+        return True
+
+    def _ask_to_join(self) -> None:
+        core = self.core
+        core.join_at = core.clock + core.settings.join_period_s
+        for vm in core.settings.peers:
+            core.send(JoinRequest(core.settings.cluster, core.me), vm)
+
+    def _refuse(self, event: Event, code: str, detail: str) -> None:
+        if isinstance(event, Propose | Read | ChangeMembership):
+            problem = Problem(code, detail)
+            leader = self.core.leader
+            reply = Reply(event.token, Outcome.REFUSED, 0, problem, leader)
+            self.core.out.append(reply)
--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -0,0 +1,131 @@
+"""Standing for election and voting."""
+
+from __future__ import annotations
+
+from kumquatmux_agreement.core import ReplicaCore
+from kumquatmux_agreement.election import Election
+from kumquatmux_agreement.entries import VoteRecord
+from kumquatmux_agreement.events import Role, Send
+from kumquatmux_agreement.leading import become_leader
+from kumquatmux_agreement.messages import VoteReply, VoteRequest
+from kumquatmux_core.decisions import log as log_decision
+
+
+def stand(core: ReplicaCore) -> None:
+    """Ask the voters whether they would vote for this replica."""
+    core.election_at = core.next_election_at()
+    core.set_role(Role.CANDIDATE, None)
+    election = Election(core.term + 1, is_trial=True)
+    core.election = election
+    election.granted.add(core.me)
+    if election.is_won(core.log.configuration):
+        _stand_in_earnest(core)
+        return
+    for request in _requests(core, election):
+        core.out.append(request)
+
+
+def vote_asked(core: ReplicaCore, message: VoteRequest) -> None:
+    """Grant a vote or refuse it."""
+    if _follows_live_leader(core):
+        _answer(core, message, is_granted=False)
+        return
+    if message.is_trial:
+        is_later = message.term > core.term
+        _answer(core, message, is_granted=is_later and _is_up_to_date(core, message))
+        return
+    if message.term > core.term:
+        core.enter_term(message.term, None)
+    is_free = core.vote.voted_for in (None, message.sender)
+    is_now = message.term == core.term
+    if not (is_now and is_free and _is_up_to_date(core, message)):
+        _answer(core, message, is_granted=False)
+        return
+    if core.vote.voted_for is None:
+        core.vote = VoteRecord(core.term, message.sender)
+        core.persist(vote=core.vote)
+        core.election_at = core.next_election_at()
+    _answer(core, message, is_granted=True)
+
+
+def vote_answered(core: ReplicaCore, message: VoteReply) -> None:
+    """Count a vote; lead once a quorum has granted."""
+    if not message.is_granted and message.term > core.term:
+        core.enter_term(message.term, None)
+        return
+    election = core.election
+    is_mine = election is not None and election.term == message.term
+    if election is None or not is_mine or election.is_trial != message.is_trial:
+        return
+    if not message.is_granted:
+        return
+    election.granted.add(message.sender)
+    if not election.is_won(core.log.configuration):
+        return
+    if election.is_trial:
+        _stand_in_earnest(core)
+    else:
+        become_leader(core)
+
+
+def own_vote_synced(core: ReplicaCore) -> None:
+    """Count the own vote once it is on the disk."""
+    election = core.election
+    if election is None or election.is_trial or core.me in election.granted:
+        return
+    election.granted.add(core.me)
+    if election.is_won(core.log.configuration):
+        become_leader(core)
+
+
+def _stand_in_earnest(core: ReplicaCore) -> None:
+    term = core.term + 1
+    log_decision("agreement-stand", replica=core.me, term=term)
+    core.vote = VoteRecord(term, core.me)
+    core.persist(vote=core.vote)
+    election = Election(term, is_trial=False)
+    core.election = election
+    last = next(reversed(core.unsynced.values()))
+    last.then.extend(_requests(core, election))
+
+
+def _requests(core: ReplicaCore, election: Election) -> list[Send]:
+    voters = [voter for voter in core.log.configuration.voters if voter != core.me]
+    return [
+        Send(
+            voter.vm,
+            VoteRequest(
+                core.settings.cluster,
+                core.me,
+                voter,
+                election.term,
+                core.log.last_index,
+                core.log.last_term,
+                election.is_trial,
+            ),
+        )
+        for voter in voters
+    ]
+
+
+def _follows_live_leader(core: ReplicaCore) -> bool:
+    if core.leadership is not None:
+        return True
+    return core.clock - core.heard_at < core.settings.election_timeout_s
+
+
+def _is_up_to_date(core: ReplicaCore, message: VoteRequest) -> bool:
+    mine = (core.log.last_term, core.log.last_index)
+    return (message.last_term, message.last_index) >= mine
+
+
+def _answer(core: ReplicaCore, message: VoteRequest, *, is_granted: bool) -> None:
+    reply = VoteReply(
+        core.settings.cluster,
+        core.me,
+        message.sender,
+        message.term if is_granted else core.term,
+        message.is_trial,
+        is_granted,
+    )
+    core.send_after_sync(reply, message.sender.vm)
