--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -14,6 +14,7 @@
 
 import msgspec
 from expression import Error, Ok, Result
+
 from kumquatmux_core.problems import Problem
 from kumquatmux_flows.events import Passing
 
