Bring placement settings into force at run time

Cause: a changed default has to reach admission without a restart. Change: Admission.use_settings. Result: held work keeps its deadline, new work gets the new one (test).

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -76,6 +76,14 @@
             self.log(outcome)
         return outcomes
 
+    def use_settings(self, settings: PlacementSettings) -> None:
+        """Bring other settings into force; work in progress is not touched."""
+        self.settings = settings
+        self.refused.settings = settings
+        self.lost.settings = settings
+        for pool in self.pools.values():
+            pool.use_settings(settings)
+
     def next_deadline(self) -> float:
         """Return when a ``Tick`` is next needed, in seconds; infinite if never."""
         deadlines = [pool.next_deadline(self.now) for pool in self.pools.values()]
--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -36,6 +36,14 @@
         self.history = SizeHistory(settings)
         self.budget = RetryBudget(settings)
 
+    def use_settings(self, settings: PlacementSettings) -> None:
+        """Bring other settings into force for everything known here."""
+        self.settings = settings
+        self.history.settings = settings
+        self.budget.settings = settings
+        for load in self.loads.values():
+            load.settings = settings
+
     def change(self, servers: tuple[Server, ...]) -> None:
         """Take in the announced servers; one that is gone gets nothing new."""
         named = {server.server for server in servers}
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -62,3 +62,12 @@
     assert made.next_deadline() == 0.6
     [refused] = made.handle(Tick(), 0.6)
     assert isinstance(refused, Refused)
+
+
+def test_other_settings_come_into_force_for_new_work_only():
+    made = admission(hold_ms=10_000.0, reserve_ms=60_000.0)
+    made.handle(Submit(work(b"a")), 0.0)
+    [held] = made.handle(Submit(work(b"b")), 0.0)
+    made.use_settings(made.settings._replace(hold_ms=500.0))
+    [later] = made.handle(Submit(work(b"c")), 0.0)
+    assert (held.until, later.until) == (10.0, 0.5)
