--- a/libs/flows/src/kumquatmux_flows/__init__.py
+++ b/libs/flows/src/kumquatmux_flows/__init__.py
@@ -1,3 +1,8 @@
 """Flow ownership, records, recovery and expiry, free of I/O."""
 
 from __future__ import annotations
+
+from kumquatmux_flows.engine import FlowEngine
+from kumquatmux_flows.settings import FlowSettings
+
+__all__ = ["FlowEngine", "FlowSettings"]
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -0,0 +1,295 @@
+"""The flow engine: one event in, the actions it asks for out."""
+
+from __future__ import annotations
+
+import random
+from functools import singledispatchmethod
+
+from kumquatmux_core.identity import FlowKey, VmId
+from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
+from kumquatmux_flows.callers import NEAR_BYTES, CallerPath
+from kumquatmux_flows.events import (
+    Action,
+    CallerPacket,
+    CancelPlacement,
+    Event,
+    FlowPlaced,
+    FlowRefused,
+    Leaving,
+    Passing,
+    PeerMessage,
+    PeerPacket,
+    RoutesChanged,
+    SendToPeer,
+    ServerPacket,
+    Stage,
+    Tick,
+    ViewChanged,
+)
+from kumquatmux_flows.messages import BatchStored, RecordBatch
+from kumquatmux_flows.peers import PeerPath
+from kumquatmux_flows.replies import ReplyPath
+from kumquatmux_flows.settings import FlowSettings
+from kumquatmux_flows.state import FlowState
+from kumquatmux_flows.sweep import Sweep
+from kumquatmux_flows.table import (
+    NO_VM,
+    SEQUENCE_HALF,
+    SEQUENCE_MASK,
+    FlowStatus,
+    Mark,
+    Role,
+)
+
+SLOW_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
+WORKING = int(Mark.WORKING)
+CONFIRMED = int(Mark.CONFIRMED)
+PROVISIONAL = int(Mark.PROVISIONAL)
+LEARNED = int(Role.LEARNED)
+OWNER = int(Role.OWNER)
+ESTABLISHED = int(FlowStatus.ESTABLISHED)
+
+
+class FlowEngine:
+    """Decides about every packet of one entry VM.
+
+    ``handle`` takes any event. ``route_caller`` and ``route_reply`` are the fast path
+    for packets of open flows: what they cannot settle goes to ``handle``. Actions the
+    fast path causes (work started or answered) come with the next ``handle`` or from
+    ``drain``.
+    """
+
+    def __init__(self, vm: VmId, settings: FlowSettings, random: random.Random) -> None:
+        self.vm = vm
+        self.settings = settings
+        self.state = FlowState(vm, settings, random)
+        self.callers = CallerPath(self.state)
+        self.replies = ReplyPath(self.state, self.callers)
+        self.peers = PeerPath(self.state, self.callers, self.replies)
+        self.sweep = Sweep(self.state, self.callers)
+        self.owned: list[bool] = []
+        self.backups: list[int] = []
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Return what an event at a time, in seconds, asks for."""
+        self.apply(event, now)
+        self.note_services()
+        return self.drain()
+
+    def drain(self) -> list[Action]:
+        """Return the actions that have gathered, and forget them."""
+        actions = self.state.out
+        self.state.out = []
+        return actions
+
+    @singledispatchmethod
+    def apply(self, event: Event, now: float) -> None:
+        """Act on one event."""
+        raise TypeError(f"no such event: {type(event).__name__}")
+
+    @apply.register
+    def _(self, event: CallerPacket, now: float) -> None:
+        state = self.state
+        state.last_packet = now
+        segment = event.segment
+        owner = state.ranking.owner(segment.key)
+        if owner == self.vm or owner is None:
+            self.callers.take(segment, now)
+            return
+        passing = Passing(Stage.TO_OWNER, 1)
+        state.out.append(SendToPeer(owner, passing, segment.packet))
+
+    @apply.register
+    def _(self, event: ServerPacket, now: float) -> None:
+        self.state.last_packet = now
+        self.replies.arrive(event.segment, event.server, now)
+
+    @apply.register
+    def _(self, event: PeerPacket, now: float) -> None:
+        self.state.last_packet = now
+        self.peers.take(event, now)
+
+    @apply.register
+    def _(self, event: PeerMessage, now: float) -> None:
+        if isinstance(event.message, RecordBatch):
+            self.sweep.take_batch(event.sender, event.message, now)
+        elif isinstance(event.message, BatchStored):
+            self.sweep.take_confirmation(event.sender, event.message, now)
+
+    @apply.register
+    def _(self, event: ViewChanged, now: float) -> None:
+        self.state.ranking.change(event, now)
+        self.view_changed()
+
+    @apply.register
+    def _(self, event: RoutesChanged, now: float) -> None:
+        self.state.routes.change(event)
+
+    @apply.register
+    def _(self, event: FlowPlaced, now: float) -> None:
+        self.callers.placed(event, now)
+
+    @apply.register
+    def _(self, event: FlowRefused, now: float) -> None:
+        self.callers.refused(event)
+
+    @apply.register
+    def _(self, event: Tick, now: float) -> None:
+        self.sweep.tick(now)
+
+    @apply.register
+    def _(self, event: Leaving, now: float) -> None:
+        self.state.ranking.leave(now)
+        self.view_changed()
+
+    def view_changed(self) -> None:
+        """Pass held flows to their new owners."""
+        state = self.state
+        self.owned = []
+        self.backups = []
+        for key in list(state.pending):
+            owner = state.ranking.owner(key)
+            if owner is not None and owner != self.vm:
+                self.move_pending(key, owner)
+
+    def move_pending(self, key: FlowKey, owner: VmId) -> None:
+        """Pass a held flow to its new owner; nothing of it was forwarded yet."""
+        state = self.state
+        state.out.append(CancelPlacement(key))
+        for segment in state.pending.pop(key).segments:
+            passing = Passing(Stage.TO_OWNER, 1)
+            state.out.append(SendToPeer(owner, passing, segment.packet))
+
+    def note_services(self) -> None:
+        """Keep, for the fast path, who owns and who backs up each service number."""
+        ranking = self.state.ranking
+        places = self.state.routes.places
+        for place in places[len(self.owned) :]:
+            self.owned.append(ranking.owns(place))
+            self.backups.append(ranking.number(ranking.backup(place)))
+
+    def route_caller(
+        self,
+        key: bytes,
+        flags: int,
+        seq: int,
+        ack: int,
+        payload_length: int,
+        now: float,
+    ) -> bytes | None:
+        """Return the server a caller's packet may go to straight from here, if any."""
+        state = self.state
+        table = state.table
+        slot = table.slots.get(key)  # type: ignore[call-overload]
+        if slot is None or flags & SLOW_FLAGS:
+            return None
+        if table.statuses[slot] < ESTABLISHED:
+            return None
+        routes = state.routes
+        server = table.servers[slot]
+        service = table.services[slot]
+        if routes.announced[server] != routes.names[service]:
+            return None
+        role = table.roles[slot]
+        if role != OWNER:
+            if payload_length or flags != FLAG_ACK:
+                return None
+            if now - table.reply_times[slot] > self.settings.learned_fresh_seconds:
+                return None
+            distance = (ack - table.server_nexts[slot] + NEAR_BYTES) & SEQUENCE_MASK
+            if distance > 2 * NEAR_BYTES:
+                return None
+            state.last_packet = now
+            return routes.addresses[server]
+        if not self.owned[service]:
+            return None
+        marks = table.marks[slot]
+        backup = self.backups[service]
+        if backup != NO_VM:
+            if table.copies[slot] != backup or not marks & CONFIRMED:
+                return None
+            if now - table.copy_times[slot] > self.settings.copy_refresh_seconds:
+                return None
+        if payload_length:
+            if not self.count_payload(slot, flags, seq, payload_length, marks):
+                return None
+        elif not flags:
+            return None
+        if flags and 0 < (ack - table.server_nexts[slot]) & SEQUENCE_MASK < (
+            SEQUENCE_HALF
+        ):
+            table.server_nexts[slot] = ack
+        table.caller_times[slot] = now
+        state.last_packet = now
+        return routes.addresses[server]
+
+    def count_payload(
+        self, slot: int, flags: int, seq: int, payload_length: int, marks: int
+    ) -> bool:
+        """Count a caller's bytes as work; return False if they were seen before."""
+        table = self.state.table
+        end = (seq + payload_length) & SEQUENCE_MASK
+        if flags:
+            progress = (end - table.caller_nexts[slot]) & SEQUENCE_MASK
+            if not 0 < progress < SEQUENCE_HALF:
+                return False
+        table.caller_nexts[slot] = end
+        if not marks & WORKING:
+            self.state.start_work(slot)
+        elif marks & PROVISIONAL:
+            table.marks[slot] = marks & ~PROVISIONAL
+        return True
+
+    def route_reply(
+        self,
+        key: bytes,
+        flags: int,
+        seq: int,
+        ack: int,
+        payload_length: int,
+        server: bytes,
+        now: float,
+    ) -> bool:
+        """Return whether a reply may go straight to its caller from here."""
+        state = self.state
+        table = state.table
+        slot = table.slots.get(key)  # type: ignore[call-overload]
+        if slot is None or flags & SLOW_FLAGS:
+            return False
+        if table.statuses[slot] < ESTABLISHED:
+            return False
+        routes = state.routes
+        number = table.servers[slot]
+        if routes.addresses[number] != server:
+            return False
+        service = table.services[slot]
+        if routes.announced[number] != routes.names[service]:
+            return False
+        end = (seq + payload_length) & SEQUENCE_MASK
+        if table.roles[slot] != OWNER:
+            if not payload_length or not flags or ack != table.caller_nexts[slot]:
+                return False
+        elif not self.owned[service]:
+            return False
+        elif not self.count_reply(slot, ack, payload_length):
+            return False
+        if flags and 0 < (end - table.server_nexts[slot]) & SEQUENCE_MASK < (
+            SEQUENCE_HALF
+        ):
+            table.server_nexts[slot] = end
+        table.reply_times[slot] = now
+        routes.heard[number] = now
+        state.last_packet = now
+        return True
+
+    def count_reply(self, slot: int, ack: int, payload_length: int) -> bool:
+        """Count a reply at the owner; return False if the slow path has to see it."""
+        table = self.state.table
+        marks = table.marks[slot]
+        if not marks & CONFIRMED and table.copies[slot] != NO_VM:
+            return False
+        if payload_length and marks & WORKING:
+            self.state.answer_work(slot)
+        if table.strikes[slot]:
+            table.strikes[slot] = 0
+        return True
--- a/libs/flows/src/kumquatmux_flows/events.py
+++ b/libs/flows/src/kumquatmux_flows/events.py
@@ -7,6 +7,8 @@
 
 from kumquatmux_core.identity import Address, FlowKey, ServiceName, Vm, VmId
 from kumquatmux_core.segments import Segment
+from kumquatmux_flows.messages import FlowMessage
+from kumquatmux_flows.refusals import Refusal
 
 
 class Stage(IntEnum):
@@ -18,6 +20,7 @@
     ADOPT = 4
     MISS = 5
     REPLY_TO_OWNER = 6
+    REPLY_CLOSE = 7
 
 
 class Binding(NamedTuple):
@@ -27,11 +30,16 @@
         server: Address of the backend server.
         revision: Settings revision in force when the flow was placed.
         epoch: Grows each time the key is placed anew; the higher binding wins.
+        established: Whether the sender saw the handshake finished.
+        service: The service it was placed for, which the rules in force may have
+            dropped since; empty if the key's service in force is meant.
     """
 
     server: Address
     revision: int
     epoch: int
+    established: bool = False
+    service: ServiceName = ServiceName("")
 
 
 class Passing(NamedTuple):
@@ -41,11 +49,13 @@
         stage: Why the packet is passed.
         hops: How many VMs have passed it on before.
         binding: The record that goes with it, if the stage has one.
+        origin: For ``LOOKUP``, the VM that wants the answer.
     """
 
     stage: Stage
     hops: int = 0
     binding: Binding | None = None
+    origin: VmId = VmId("")
 
 
 class CallerPacket(NamedTuple):
@@ -64,7 +74,8 @@
 class PeerPacket(NamedTuple):
     """A packet another VM passed on.
 
-    For ``REPLY_TO_OWNER`` the segment is a server's and the binding names the server.
+    For ``REPLY_TO_OWNER`` and ``REPLY_CLOSE`` the segment is a server's and the binding
+    names the server.
     """
 
     sender: VmId
@@ -72,6 +83,13 @@
     segment: Segment
 
 
+class PeerMessage(NamedTuple):
+    """A message of another VM's flow engine, decoded with ``FLOW_MESSAGES``."""
+
+    sender: VmId
+    message: FlowMessage
+
+
 class ViewChanged(NamedTuple):
     """The entry VMs this one can reach, itself included.
 
@@ -139,6 +157,7 @@
     CallerPacket
     | ServerPacket
     | PeerPacket
+    | PeerMessage
     | ViewChanged
     | RoutesChanged
     | FlowPlaced
@@ -170,6 +189,13 @@
     packet: bytes
 
 
+class SendMessage(NamedTuple):
+    """Send a message to another VM's flow engine, encoded with ``FLOW_MESSAGES``."""
+
+    vm: VmId
+    message: FlowMessage
+
+
 class AskPlacement(NamedTuple):
     """Ask for a server; ``FlowPlaced`` or ``FlowRefused`` follows."""
 
@@ -177,8 +203,18 @@
     service: ServiceName
 
 
+class CancelPlacement(NamedTuple):
+    """Withdraw a request for a server: the flow is not wanted here any more."""
+
+    key: FlowKey
+
+
 class ResetCaller(NamedTuple):
-    """Tell the caller its flow is gone: TCP reset, or ICMP port unreachable for UDP."""
+    """Tell the caller its flow is gone: TCP reset, or ICMP port unreachable for UDP.
+
+    The reset takes its sequence number from the segment's acknowledgement number. The
+    segment's packet is empty when no packet of the caller was the cause (TCP only).
+    """
 
     segment: Segment
     reason: str
@@ -238,6 +274,24 @@
     service: ServiceName
 
 
+class RefreshRoute(NamedTuple):
+    """A route failed: whoever gave it should get a fresh one now.
+
+    Attributes:
+        reason: What was found wrong with it.
+        service: The service it was for, empty if unknown.
+        server: The backend server it named, if it named one.
+    """
+
+    reason: Refusal
+    service: ServiceName
+    server: Address | None = None
+
+
+class Quiet(NamedTuple):
+    """A leaving VM has handed everything over and sees no more packets."""
+
+
 class Dropped(NamedTuple):
     """A packet went nowhere, for a reason that is counted."""
 
@@ -248,7 +302,9 @@
     SendToServer
     | SendToCaller
     | SendToPeer
+    | SendMessage
     | AskPlacement
+    | CancelPlacement
     | ResetCaller
     | ResetServer
     | ProbeServer
@@ -257,5 +313,7 @@
     | WorkAnswered
     | FlowClosed
     | FlowAdopted
+    | RefreshRoute
+    | Quiet
     | Dropped
 )
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -0,0 +1,219 @@
+"""The way of packets that other VMs passed on."""
+
+from __future__ import annotations
+
+from kumquatmux_core.segments import FLAG_FIN, FLAG_RST, Segment
+from kumquatmux_flows.callers import CallerPath
+from kumquatmux_flows.events import Binding, Passing, PeerPacket, SendToPeer, Stage
+from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.replies import ReplyPath
+from kumquatmux_flows.state import FlowState
+from kumquatmux_flows.table import FlowStatus, Mark, Role
+
+
+class PeerPath:
+    """Stores second copies, answers searches and corrects owners that moved."""
+
+    def __init__(
+        self, state: FlowState, callers: CallerPath, replies: ReplyPath
+    ) -> None:
+        self.state = state
+        self.callers = callers
+        self.replies = replies
+        self.stages = {
+            Stage.TO_OWNER: self.to_owner,
+            Stage.STORE: self.store,
+            Stage.LOOKUP: self.look_up,
+            Stage.ADOPT: self.adopt,
+            Stage.MISS: self.miss,
+            Stage.REPLY_TO_OWNER: self.reply_to_owner,
+            Stage.REPLY_CLOSE: self.reply_close,
+        }
+
+    def take(self, packet: PeerPacket, now: float) -> None:
+        """Handle a packet by its stage."""
+        self.stages[packet.passing.stage](packet, now)
+
+    def pass_to_owner(self, packet: PeerPacket) -> bool:
+        """Pass a packet on if another VM owns its flow; return whether it was.
+
+        A packet from the VM that this one takes for the owner stays: that VM knows
+        better, for it is leaving or has a newer view.
+        """
+        state = self.state
+        owner = state.ranking.owner(packet.segment.key)
+        if owner is None or owner == state.vm or owner == packet.sender:
+            return False
+        if packet.passing.hops >= state.settings.hop_limit:
+            return False
+        passing = packet.passing._replace(hops=packet.passing.hops + 1)
+        state.out.append(SendToPeer(owner, passing, packet.segment.packet))
+        return True
+
+    def to_owner(self, packet: PeerPacket, now: float) -> None:
+        """Handle a caller's packet that a VM without its record passed on."""
+        if self.pass_to_owner(packet):
+            self.note_moved(packet.segment)
+            return
+        owner = self.state.ranking.owner(packet.segment.key)
+        named = owner in (self.state.vm, packet.sender)
+        if named or self.holds(packet.segment):
+            self.callers.take(packet.segment, now)
+            return
+        self.state.drop(Refusal.HOPS)
+
+    def note_moved(self, segment: Segment) -> None:
+        """Ask for a fresh view: a peer took this VM for an owner it is not."""
+        state = self.state
+        service = state.service_of(segment.key)
+        if service is None:
+            return
+        state.refresh(Refusal.OWNER_MOVED, state.routes.names[service], None)
+
+    def owns(self, segment: Segment) -> bool:
+        """Return whether this VM owns a packet's flow."""
+        return self.state.ranking.owner(segment.key) == self.state.vm
+
+    def holds(self, segment: Segment) -> bool:
+        """Return whether this VM has a record that is more than learned."""
+        slot = self.state.table.slots.get(segment.key)
+        return slot is not None and self.state.table.roles[slot] != Role.LEARNED
+
+    def store(self, packet: PeerPacket, now: float) -> None:
+        """Keep the second copy of a record, then forward its packet."""
+        binding = packet.passing.binding
+        if binding is None:
+            self.state.drop(Refusal.FLOW_UNKNOWN)
+            return
+        segment = packet.segment
+        slot = self.callers.take_binding(binding, segment, Role.COPY, now)
+        if slot is None:
+            self.state.drop(Refusal.SERVICE_UNKNOWN)
+        elif not self.state.permits(slot):
+            self.callers.give_up(slot, segment, now)
+        elif self.state.address_of(slot) != binding.server:
+            self.correct(packet, slot)
+        else:
+            self.keep_copy(slot, packet, now)
+
+    def keep_copy(self, slot: int, packet: PeerPacket, now: float) -> None:
+        """Follow a packet as the backup and forward it."""
+        state = self.state
+        table = state.table
+        segment = packet.segment
+        if packet.sender == state.ranking.owner(segment.key):
+            state.yield_role(slot, Role.COPY, "owner-moved")
+        self.follow(slot, segment, now)
+        state.to_server(slot, segment)
+        if segment.flags & FLAG_RST:
+            state.close(slot, "reset-by-caller", now)
+        elif segment.flags & FLAG_FIN:
+            table.marks[slot] |= Mark.CALLER_FIN
+            self.callers.closing(slot, now)
+
+    def follow(self, slot: int, segment: Segment, now: float) -> None:
+        """Note what a stored packet shows of its flow."""
+        table = self.state.table
+        table.caller_times[slot] = now
+        table.copy_times[slot] = now
+        if segment.opens:
+            if table.caller_isns[slot] != segment.seq:
+                table.marks[slot] = 0
+                table.statuses[slot] = FlowStatus.HALF_OPEN
+            table.caller_isns[slot] = segment.seq
+        elif not segment.is_tcp:
+            table.statuses[slot] = FlowStatus.DATAGRAMS
+        elif table.statuses[slot] == FlowStatus.HALF_OPEN:
+            table.statuses[slot] = FlowStatus.ESTABLISHED
+
+    def correct(self, packet: PeerPacket, slot: int) -> None:
+        """Give an owner the better record this VM has, with its packet."""
+        passing = Passing(Stage.ADOPT, 0, self.state.binding(slot))
+        peer = SendToPeer(packet.sender, passing, packet.segment.packet)
+        self.state.out.append(peer)
+
+    def look_up(self, packet: PeerPacket, now: float) -> None:
+        """Answer a search, or send it on to the next VM."""
+        state = self.state
+        segment = packet.segment
+        origin = packet.passing.origin
+        if segment.key in state.pending:
+            state.drop(Refusal.DUPLICATE)
+            return
+        binding = self.found(segment, now)
+        if binding is not None:
+            passing = Passing(Stage.ADOPT, 0, binding)
+            state.out.append(SendToPeer(origin, passing, segment.packet))
+        elif not self.is_over(segment, now):
+            self.search_on(packet)
+
+    def found(self, segment: Segment, now: float) -> Binding | None:
+        """Return the record here that fits a searched packet."""
+        state = self.state
+        slot = state.table.slots.get(segment.key)
+        if slot is None or not state.permits(slot):
+            return None
+        if state.table.statuses[slot] == FlowStatus.CLOSED:
+            return None
+        if state.table.roles[slot] == Role.LEARNED:
+            fits = self.callers.matches(slot, segment, now)
+            return state.binding(slot)._replace(epoch=0) if fits else None
+        if self.callers.contradicts(slot, segment):
+            return None
+        return state.binding(slot)
+
+    def is_over(self, segment: Segment, now: float) -> bool:
+        """Drop a searched packet of a flow that just ended here."""
+        state = self.state
+        slot = state.table.slots.get(segment.key)
+        if slot is None or state.table.statuses[slot] != FlowStatus.CLOSED:
+            return False
+        if not state.quarantined(slot, now):
+            return False
+        state.drop(Refusal.QUARANTINED)
+        return True
+
+    def search_on(self, packet: PeerPacket) -> None:
+        """Send a search to the next VM, or tell its origin that nobody knows."""
+        state = self.state
+        hops = packet.passing.hops
+        origin = packet.passing.origin
+        target = self.callers.lookup_target(packet.segment.key, hops, origin)
+        stage = Stage.LOOKUP if target is not None else Stage.MISS
+        passing = Passing(stage, hops + 1, None, origin)
+        vm = target if target is not None else origin
+        state.out.append(SendToPeer(vm, passing, packet.segment.packet))
+
+    def adopt(self, packet: PeerPacket, now: float) -> None:
+        """Take a record that a search or a correction found."""
+        binding = packet.passing.binding
+        segment = packet.segment
+        slot = None
+        if binding is not None:
+            slot = self.callers.take_binding(binding, segment, Role.OWNER, now)
+        if slot is None:
+            self.state.drop(Refusal.SERVICE_UNKNOWN)
+            return
+        if self.owns(segment):
+            self.state.adopt(slot, "found-at-peer")
+        self.callers.after_search(slot, segment, now)
+
+    def miss(self, packet: PeerPacket, now: float) -> None:
+        """Decide about a packet whose record no live VM has."""
+        self.callers.unresolved(packet.segment, now)
+
+    def reply_to_owner(self, packet: PeerPacket, now: float) -> None:
+        """Handle a reply another VM passed on."""
+        binding = packet.passing.binding
+        if binding is None:
+            self.state.drop(Refusal.FLOW_UNKNOWN)
+        elif not self.pass_to_owner(packet):
+            self.replies.own(packet.segment, binding.server, now)
+
+    def reply_close(self, packet: PeerPacket, now: float) -> None:
+        """Handle the end of a flow as its backup."""
+        binding = packet.passing.binding
+        if binding is None:
+            self.state.drop(Refusal.FLOW_UNKNOWN)
+            return
+        self.replies.close_copy(packet.segment, binding, now)
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -0,0 +1,88 @@
+"""Which VM owns the flows of a service, by rendezvous over the live ones."""
+
+from __future__ import annotations
+
+from kumquatmux_core import rendezvous
+from kumquatmux_core.identity import FlowKey, VmId
+from kumquatmux_flows.events import ViewChanged
+from kumquatmux_flows.routes import place_of
+from kumquatmux_flows.table import NO_VM
+
+
+class Ranking:
+    """The live VMs in order, for each service address.
+
+    Attributes:
+        live: Names of the VMs in view, this one included unless it leaves.
+        changed: When the view last changed, in seconds.
+        losses: Time of each recent loss, in seconds.
+    """
+
+    def __init__(self, vm: VmId) -> None:
+        self.vm = vm
+        self.live: tuple[VmId, ...] = (vm,)
+        self.changed = float("-inf")
+        self.losses: list[float] = []
+        self.ranks: dict[bytes, list[VmId]] = {}
+        self.numbers: dict[tuple[VmId, int], int] = {}
+        self.incarnations: dict[VmId, int] = {}
+        self.leaving = False
+
+    def change(self, view: ViewChanged, now: float) -> None:
+        """Take a new view."""
+        names = tuple(sorted(vm.vm for vm in view.live))
+        self.losses.extend(now for _ in view.lost)
+        self.incarnations = {vm.vm: vm.incarnation for vm in view.live}
+        self.set_live(names, now)
+
+    def leave(self, now: float) -> None:
+        """Own nothing from now on."""
+        self.leaving = True
+        self.set_live(self.live, now)
+
+    def set_live(self, names: tuple[VmId, ...], now: float) -> None:
+        """Rank among other VMs."""
+        if self.leaving:
+            names = tuple(name for name in names if name != self.vm)
+        if names == self.live:
+            return
+        self.live = names
+        self.changed = now
+        self.ranks = {}
+
+    def rank(self, place: bytes) -> list[VmId]:
+        """Return the VMs for a service address, its owner first."""
+        ranked = self.ranks.get(place)
+        if ranked is None:
+            ranked = [VmId(name) for name in rendezvous.rank(place, self.live)]
+            self.ranks[place] = ranked
+        return ranked
+
+    def owner(self, key: FlowKey) -> VmId | None:
+        """Return the owner of a flow, None if no VM is live."""
+        ranked = self.rank(place_of(key))
+        return ranked[0] if ranked else None
+
+    def owns(self, place: bytes) -> bool:
+        """Return whether this VM owns the flows of a service address."""
+        ranked = self.rank(place)
+        return bool(ranked) and ranked[0] == self.vm
+
+    def backup(self, place: bytes) -> VmId | None:
+        """Return the VM that holds the second copies, as this one sees it."""
+        for name in self.rank(place)[:2]:
+            if name != self.vm:
+                return name
+        return None
+
+    def number(self, name: VmId | None) -> int:
+        """Return the small number of one incarnation of a VM, ``NO_VM`` for none."""
+        if name is None:
+            return NO_VM
+        started = (name, self.incarnations.get(name, 0))
+        return self.numbers.setdefault(started, len(self.numbers))
+
+    def lost_lately(self, window: float, now: float) -> int:
+        """Return how many VMs were lost within a time, in seconds."""
+        self.losses = [time for time in self.losses if now - time < window]
+        return len(self.losses)
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/refusals.py
@@ -0,0 +1,29 @@
+"""Why a packet had no route or a flow was given up."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Refusal(StrEnum):
+    """The reasons a caller, a log line or a counter is told."""
+
+    SERVICE_UNKNOWN = "service-unknown"
+    TABLE_STALE = "table-stale"
+    TABLE_FULL = "table-full"
+    SERVER_GONE = "server-gone"
+    LEASE_ENDED = "lease-ended"
+    OWNER_MOVED = "owner-moved"
+    FLOW_UNKNOWN = "flow-unknown"
+    RECORD_MAYBE_LOST = "record-maybe-lost"
+    UNSETTLED = "view-unsettled"
+    QUARANTINED = "quarantined"
+    DUPLICATE = "duplicate-first-packet"
+    HELD_FULL = "held-full"
+    CROSSED = "reply-crossed"
+    SERVICE_CROSSED = "service-crossed"
+    SILENT = "silent"
+    IDLE = "idle"
+    CONFLICT = "conflict"
+    HOPS = "hops"
+    ALONE = "no-owner"
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -0,0 +1,208 @@
+"""The way of packets from backend servers."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from kumquatmux_core.identity import Address
+from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN, Segment
+from kumquatmux_flows.callers import CallerPath, end_of
+from kumquatmux_flows.events import Binding, Passing, SendToCaller, SendToPeer, Stage
+from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.state import FlowState
+from kumquatmux_flows.table import FlowStatus, Mark, Role, is_after
+
+ENDING_FLAGS = FLAG_FIN | FLAG_RST
+STALE_ORDER_FACTOR = 2
+
+
+class ReplyPath:
+    """Learns flows from replies and lets the owner see the first answers."""
+
+    def __init__(self, state: FlowState, callers: CallerPath) -> None:
+        self.state = state
+        self.callers = callers
+
+    def arrive(self, segment: Segment, server: Address, now: float) -> None:
+        """Handle a reply straight from the fabric."""
+        owner = self.state.ranking.owner(segment.key)
+        if owner == self.state.vm or owner is None:
+            self.own(segment, server, now)
+            return
+        if not self.learn(segment, server, now):
+            return
+        passing = Passing(Stage.REPLY_TO_OWNER, 1, Binding(server, 0, 0))
+        self.state.out.append(SendToPeer(owner, passing, segment.packet))
+
+    def learn(self, segment: Segment, server: Address, now: float) -> bool:
+        """Keep what a reply shows of its flow.
+
+        Returns:
+            Whether the owner may see the reply: False if the record here shows that
+            it is another server's.
+        """
+        state = self.state
+        table = state.table
+        number = self.note_heard(segment, server, now)
+        slot = table.slots.get(segment.key)
+        if slot is None:
+            self.add_learned(segment, number, now)
+            return True
+        if table.roles[slot] == Role.LEARNED and table.servers[slot] != number:
+            table.remove(slot)
+            self.add_learned(segment, number, now)
+            return True
+        if table.servers[slot] == number:
+            self.note_reply(slot, segment, now)
+        return True
+
+    def note_heard(self, segment: Segment, server: Address, now: float) -> int:
+        """Remember that a server lives, and return its number."""
+        routes = self.state.routes
+        number = routes.servers.get(server)
+        if number is None:
+            service = self.state.service_of(segment.key)
+            name = "" if service is None else routes.names[service]
+            number = routes.server(server, name)  # type: ignore[arg-type]
+        routes.heard[number] = now
+        return number
+
+    def add_learned(self, segment: Segment, number: int, now: float) -> None:
+        """Add a learned record, the oldest goes when there are too many."""
+        state = self.state
+        service = state.service_of(segment.key)
+        if service is None or segment.flags & ENDING_FLAGS:
+            return
+        if not state.routes.permits(number, service):
+            return
+        if state.settings.learned_limit <= 0:
+            return
+        self.make_room()
+        slot = state.table.add(segment.key, Role.LEARNED, number, service)
+        state.learned_order.append(segment.key)
+        if not segment.is_tcp:
+            state.table.statuses[slot] = FlowStatus.DATAGRAMS
+        self.note_reply(slot, segment, now)
+
+    def make_room(self) -> None:
+        """Drop the oldest learned record when the cache is full."""
+        state = self.state
+        table = state.table
+        order = state.learned_order
+        while table.counts[Role.LEARNED] >= state.settings.learned_limit and order:
+            slot = table.slots.get(order.popleft())
+            if slot is not None and table.roles[slot] == Role.LEARNED:
+                table.remove(slot)
+        if len(order) > STALE_ORDER_FACTOR * state.settings.learned_limit:
+            state.learned_order = deque(dict.fromkeys(filter(self.is_learned, order)))
+
+    def is_learned(self, key: object) -> bool:
+        """Return whether a key still has a learned record."""
+        slot = self.state.table.slots.get(key)  # type: ignore[call-overload]
+        return slot is not None and self.state.table.roles[slot] == Role.LEARNED
+
+    def note_reply(self, slot: int, segment: Segment, now: float) -> None:
+        """Follow a reply on a VM that does not own its flow."""
+        table = self.state.table
+        table.reply_times[slot] = now
+        if not segment.is_tcp:
+            return
+        self.advance(slot, segment)
+        if segment.flags & FLAG_ACK and table.roles[slot] != Role.OWNER:
+            table.caller_nexts[slot] = segment.ack
+        opening = segment.flags & (FLAG_SYN | FLAG_RST)
+        if not opening and table.statuses[slot] == FlowStatus.HALF_OPEN:
+            table.statuses[slot] = FlowStatus.ESTABLISHED
+        if segment.flags & ENDING_FLAGS and table.roles[slot] == Role.LEARNED:
+            table.remove(slot)
+
+    def advance(self, slot: int, segment: Segment) -> None:
+        """Move the next sequence number of the server forward."""
+        table = self.state.table
+        end = end_of(segment)
+        seen = table.marks[slot] & Mark.SERVER_SEEN
+        if not seen or is_after(end, table.server_nexts[slot]):
+            table.server_nexts[slot] = end
+            table.marks[slot] |= Mark.SERVER_SEEN
+
+    def own(self, segment: Segment, server: Address, now: float) -> None:
+        """Handle a reply as the owner of its flow."""
+        state = self.state
+        table = state.table
+        number = self.note_heard(segment, server, now)
+        slot = table.slots.get(segment.key)
+        if slot is None or table.roles[slot] == Role.LEARNED:
+            self.without_record(segment, server, now)
+        elif table.servers[slot] != number:
+            self.crossed(slot, segment)
+        elif not state.permits(slot):
+            state.drop(Refusal.SERVICE_CROSSED)
+        else:
+            self.answer(slot, segment, now)
+
+    def without_record(self, segment: Segment, server: Address, now: float) -> None:
+        """Pass on a reply whose flow has no record here, and learn it."""
+        state = self.state
+        service = state.service_of(segment.key)
+        number = state.routes.servers[server]
+        if service is None or not state.routes.permits(number, service):
+            state.drop(Refusal.SERVICE_CROSSED)
+            return
+        self.learn(segment, server, now)
+        self.to_caller(segment)
+
+    def crossed(self, slot: int, segment: Segment) -> None:
+        """Drop a reply of another server than the flow's own."""
+        self.state.drop(Refusal.CROSSED)
+        self.state.say_slot("reply-dropped", slot, Refusal.CROSSED)
+
+    def answer(self, slot: int, segment: Segment, now: float) -> None:
+        """Follow a reply of the flow's own server and pass it on."""
+        state = self.state
+        table = state.table
+        table.reply_times[slot] = now
+        table.strikes[slot] = 0
+        if segment.is_tcp:
+            self.advance(slot, segment)
+        if segment.flags & FLAG_ACK or not segment.is_tcp:
+            self.callers.confirm_copy(slot, segment.ack)
+        if segment.payload_length:
+            state.answer_work(slot)
+        if segment.flags & ENDING_FLAGS:
+            self.end(slot, segment, now)
+        else:
+            self.to_caller(segment)
+
+    def end(self, slot: int, segment: Segment, now: float) -> None:
+        """Follow the end a server gives to a flow, and let the backup see it."""
+        state = self.state
+        if segment.flags & FLAG_RST:
+            state.close(slot, "reset-by-server", now)
+        else:
+            state.table.marks[slot] |= Mark.SERVER_FIN
+            self.callers.closing(slot, now)
+        backup = self.callers.backup_of(slot)
+        if backup is None:
+            self.to_caller(segment)
+            return
+        passing = Passing(Stage.REPLY_CLOSE, 0, state.binding(slot))
+        state.out.append(SendToPeer(backup, passing, segment.packet))
+
+    def close_copy(self, segment: Segment, binding: Binding, now: float) -> None:
+        """Follow, as the backup, the end a server gives to a flow."""
+        state = self.state
+        slot = state.table.slots.get(segment.key)
+        if slot is not None and state.address_of(slot) == binding.server:
+            state.table.reply_times[slot] = now
+            if segment.flags & FLAG_RST:
+                state.close(slot, "reset-by-server", now)
+            else:
+                state.table.marks[slot] |= Mark.SERVER_FIN
+                self.callers.closing(slot, now)
+        self.to_caller(segment)
+
+    def to_caller(self, segment: Segment) -> None:
+        """Send a reply to its caller from the service address."""
+        key = segment.key
+        service = Address(key[5:9] + key[11:13])
+        self.state.out.append(SendToCaller(service, segment.packet))
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -0,0 +1,88 @@
+"""Which service a flow is for and which servers may get its packets."""
+
+from __future__ import annotations
+
+from kumquatmux_core.identity import Address, FlowKey, ServiceName
+from kumquatmux_flows.events import RoutesChanged
+
+UNKNOWN_REVISION = -1
+
+
+def place_of(key: FlowKey) -> bytes:
+    """Return the service side of a flow key: protocol, IP and port, 7 bytes."""
+    return key[0:1] + key[5:9] + key[11:13]
+
+
+class Routes:
+    """Services and servers by small numbers, so that records stay compact.
+
+    A service number stands for a name at one address. Numbers are never given twice.
+
+    Attributes:
+        revision: Settings revision in force.
+        current: Service number in force at each service address.
+        names: Name of each service number.
+        places: Address of each service number, as in a flow key.
+        addresses: Address of each server number.
+        announced: Name each server number last announced itself for.
+        in_force: Server numbers that may get new flows.
+        heard: When each server number last sent a packet, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.revision = UNKNOWN_REVISION
+        self.current: dict[bytes, int] = {}
+        self.names: list[ServiceName] = []
+        self.places: list[bytes] = []
+        self.addresses: list[Address] = []
+        self.announced: list[ServiceName] = []
+        self.in_force: set[int] = set()
+        self.heard: list[float] = []
+        self.services: dict[tuple[ServiceName, bytes], int] = {}
+        self.servers: dict[Address, int] = {}
+
+    def change(self, changed: RoutesChanged) -> None:
+        """Take the services and servers of a revision."""
+        self.revision = changed.revision
+        self.current = {}
+        for route in changed.services:
+            place = bytes((route.protocol,)) + route.address
+            self.current[place] = self.service(route.service, place)
+        self.in_force = set()
+        for server in changed.servers:
+            number = self.server(server.server, server.service)
+            self.announced[number] = server.service
+            self.in_force.add(number)
+
+    def service(self, name: ServiceName, place: bytes) -> int:
+        """Return the number of a service at an address."""
+        number = self.services.get((name, place))
+        if number is None:
+            number = len(self.names)
+            self.services[name, place] = number
+            self.names.append(name)
+            self.places.append(place)
+        return number
+
+    def server(self, address: Address, assumed: ServiceName) -> int:
+        """Return the number of a server, with a service assumed if it is new."""
+        number = self.servers.get(address)
+        if number is None:
+            number = len(self.addresses)
+            self.servers[address] = number
+            self.addresses.append(address)
+            self.announced.append(assumed)
+            self.heard.append(0.0)
+        return number
+
+    def permits(self, server: int, service: int) -> bool:
+        """Return whether a server may get packets of an open flow of a service."""
+        return self.announced[server] == self.names[service]
+
+    def permits_new(self, server: int, service: int) -> bool:
+        """Return whether a server may get a new flow of a service."""
+        return server in self.in_force and self.permits(server, service)
+
+    def address_of(self, service: int) -> Address:
+        """Return the address callers use for a service."""
+        return Address(self.places[service][1:])
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -0,0 +1,175 @@
+"""Flow records in columns: a key finds a slot, a slot finds its values."""
+
+from __future__ import annotations
+
+from array import array
+from enum import IntEnum
+
+from kumquatmux_core.identity import FlowKey
+
+GROWTH_SLOTS = 1_024
+NO_VM = 0xFFFF
+SEQUENCE_MASK = 0xFFFFFFFF
+SEQUENCE_HALF = 0x80000000
+
+
+class Role(IntEnum):
+    """Why this VM holds a record."""
+
+    FREE = 0
+    LEARNED = 1
+    COPY = 2
+    OWNER = 3
+
+
+class FlowStatus(IntEnum):
+    """How far a flow has come; the open ones are the highest."""
+
+    HALF_OPEN = 0
+    CLOSING = 1
+    CLOSED = 2
+    ESTABLISHED = 3
+    DATAGRAMS = 4
+
+
+class Mark(IntEnum):
+    """Facts about one flow, one bit each.
+
+    ``PLACED`` tells flows placed by this VM. ``SERVER_SEEN`` says that
+    ``server_next`` holds a number seen in a packet, ``CALLER_SEEN`` the same of
+    ``caller_next``, ``CONFIRMED`` that the second copy is known to be in place.
+    """
+
+    WORKING = 1
+    PROVISIONAL = 2
+    CALLER_FIN = 4
+    SERVER_FIN = 8
+    CONFIRMED = 16
+    PLACED = 32
+    SERVER_SEEN = 64
+    CALLER_SEEN = 128
+
+
+class FlowTable:
+    """All records of one VM.
+
+    Attributes:
+        slots: Slot of each key.
+        keys: Key of each slot, None where it is free.
+        counts: Records by role.
+    """
+
+    def __init__(self) -> None:
+        self.slots: dict[FlowKey, int] = {}
+        self.keys: list[FlowKey | None] = []
+        self.free: array[int] = array("I")
+        self.counts = [0] * len(Role)
+        self.roles = bytearray()
+        self.statuses = bytearray()
+        self.marks = bytearray()
+        self.strikes = bytearray()
+        self.servers: array[int] = array("I")
+        self.services: array[int] = array("H")
+        self.copies: array[int] = array("H")
+        self.epochs: array[int] = array("I")
+        self.revisions: array[int] = array("I")
+        self.caller_isns: array[int] = array("I")
+        self.caller_nexts: array[int] = array("I")
+        self.server_nexts: array[int] = array("I")
+        self.copy_seqs: array[int] = array("I")
+        self.copy_times: array[float] = array("d")
+        self.caller_times: array[float] = array("d")
+        self.reply_times: array[float] = array("d")
+        self.strike_times: array[float] = array("d")
+
+    @property
+    def kept(self) -> int:
+        """Records held as owner or second copy."""
+        return self.counts[Role.OWNER] + self.counts[Role.COPY]
+
+    def add(self, key: FlowKey, role: Role, server: int, service: int) -> int:
+        """Return the slot of a new record for a key that has none."""
+        if not self.free:
+            self.grow()
+        slot = self.free.pop()
+        self.slots[key] = slot
+        self.keys[slot] = key
+        self.roles[slot] = role
+        self.counts[role] += 1
+        self.servers[slot] = server
+        self.services[slot] = service
+        self.clear(slot)
+        return slot
+
+    def clear(self, slot: int) -> None:
+        """Set the progress of a slot back to that of a new flow."""
+        self.statuses[slot] = FlowStatus.HALF_OPEN
+        self.marks[slot] = 0
+        self.strikes[slot] = 0
+        self.copies[slot] = NO_VM
+        self.epochs[slot] = 0
+        self.revisions[slot] = 0
+        self.caller_isns[slot] = 0
+        self.caller_nexts[slot] = 0
+        self.server_nexts[slot] = 0
+        self.copy_seqs[slot] = 0
+        self.copy_times[slot] = 0.0
+        self.caller_times[slot] = 0.0
+        self.reply_times[slot] = 0.0
+        self.strike_times[slot] = 0.0
+
+    def remove(self, slot: int) -> None:
+        """Free a slot."""
+        key = self.keys[slot]
+        if key is None:
+            raise ValueError(f"slot {slot} is free already")
+        del self.slots[key]
+        self.keys[slot] = None
+        self.counts[self.roles[slot]] -= 1
+        self.roles[slot] = Role.FREE
+        self.free.append(slot)
+
+    def set_role(self, slot: int, role: Role) -> None:
+        """Change why a record is held."""
+        self.counts[self.roles[slot]] -= 1
+        self.counts[role] += 1
+        self.roles[slot] = role
+
+    def grow(self) -> None:
+        """Add free slots, an eighth of the table at least."""
+        size = len(self.keys)
+        more = max(GROWTH_SLOTS, size // 8)
+        self.keys.extend([None] * more)
+        for column in (self.roles, self.statuses, self.marks, self.strikes):
+            column.extend(bytes(more))
+        for numbers in self.columns():
+            numbers.frombytes(bytes(more * numbers.itemsize))
+        self.free.extend(range(size + more - 1, size - 1, -1))
+
+    def columns(self) -> list[array]:
+        """Return the columns that are wider than a byte."""
+        return [
+            self.servers,
+            self.services,
+            self.copies,
+            self.epochs,
+            self.revisions,
+            self.caller_isns,
+            self.caller_nexts,
+            self.server_nexts,
+            self.copy_seqs,
+            self.copy_times,
+            self.caller_times,
+            self.reply_times,
+            self.strike_times,
+        ]
+
+
+def is_after(left: int, right: int) -> bool:
+    """Return whether one TCP sequence number is later than another."""
+    return 0 < (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
+
+
+def is_at_least(left: int, right: int) -> bool:
+    """Return whether one TCP sequence number is another or later."""
+    return (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
--- /dev/null
+++ b/libs/flows/tests/test_engine.py
@@ -0,0 +1,208 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from kumquatmux_core.identity import Endpoint, FlowKey, ServiceName, Vm, VmId, ZoneName
+from kumquatmux_core.segments import FLAG_ACK, FLAG_RST, FLAG_SYN, Segment
+from kumquatmux_flows.engine import FlowEngine
+from kumquatmux_flows.events import (
+    AskPlacement,
+    CallerPacket,
+    CancelPlacement,
+    Dropped,
+    FlowClosed,
+    FlowPlaced,
+    FlowRefused,
+    PeerPacket,
+    RefreshRoute,
+    ResetCaller,
+    RoutesChanged,
+    SendToCaller,
+    SendToPeer,
+    SendToServer,
+    ServerPacket,
+    ServerRoute,
+    ServiceRoute,
+    Stage,
+    Tick,
+    ViewChanged,
+    WorkAnswered,
+    WorkStarted,
+)
+from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.settings import FlowSettings
+
+ENTRIES = ServiceName("entries")
+PAGESETTER = ServiceName("pagesetter")
+SERVICE = Endpoint("127.66.0.50", 80).packed
+OTHER_SERVICE = Endpoint("127.66.0.51", 80).packed
+SERVER = Endpoint("127.66.0.1", 9001).packed
+SECOND = Endpoint("127.66.0.2", 9001).packed
+SETTLED = 100.0
+SETTINGS = FlowSettings()
+
+
+def key_of(port: int, protocol: int = 6, service: bytes = SERVICE) -> FlowKey:
+    caller = Endpoint("127.66.0.9", port).packed
+    return FlowKey(
+        bytes((protocol,)) + caller[:4] + service[:4] + caller[4:] + service[4:]
+    )
+
+
+def segment(
+    key: FlowKey, flags: int = FLAG_ACK, seq: int = 0, ack: int = 0, length: int = 0
+) -> Segment:
+    return Segment(key, flags, seq, ack, length, b"packet")
+
+
+def routes(
+    *servers: ServerRoute, revision: int = 1, protocols: tuple[int, ...] = (6, 17)
+) -> RoutesChanged:
+    services = tuple(
+        ServiceRoute(name, address, protocol)
+        for name, address in ((ENTRIES, SERVICE), (PAGESETTER, OTHER_SERVICE))
+        for protocol in protocols
+    )
+    return RoutesChanged(revision, services, servers)
+
+
+def vms(*names: str) -> tuple[Vm, ...]:
+    endpoint = Endpoint("127.0.0.1", 1)
+    zone = ZoneName("cnx-a")
+    return tuple(Vm(VmId(name), zone, endpoint, endpoint) for name in names)
+
+
+def engine(vm: str = "a", settings: FlowSettings = SETTINGS) -> FlowEngine:
+    made = FlowEngine(VmId(vm), settings, random.Random(1))
+    entries = ServerRoute(SERVER, ENTRIES), ServerRoute(SECOND, ENTRIES)
+    made.handle(routes(*entries), 0.0)
+    return made
+
+
+def open_flow(made: FlowEngine, key: FlowKey, now: float = SETTLED) -> None:
+    """Place a flow, alone in view, and finish its handshake."""
+    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), now)
+    made.handle(FlowPlaced(key, SERVER), now)
+    answer = segment(key, FLAG_SYN | FLAG_ACK, seq=499, ack=100)
+    made.handle(ServerPacket(answer, SERVER), now)
+    made.handle(CallerPacket(segment(key, seq=100, ack=500)), now)
+
+
+def kinds(actions: list) -> list[str]:
+    return [type(action).__name__ for action in actions]
+
+
+def test_places_a_first_packet_once() -> None:
+    made = engine()
+    key = key_of(1)
+    syn = CallerPacket(segment(key, FLAG_SYN, seq=99))
+    assert made.handle(syn, SETTLED) == [AskPlacement(key, ENTRIES)]
+    assert made.handle(syn, SETTLED) == [Dropped(Refusal.DUPLICATE)]
+    assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [
+        WorkStarted(key, SERVER),
+        SendToServer(SERVER, b"packet"),
+    ]
+    assert made.handle(syn, SETTLED) == [SendToServer(SERVER, b"packet")]
+
+
+def test_refusal_reaches_the_caller_and_no_server() -> None:
+    made = engine()
+    key = key_of(1)
+    first = segment(key, FLAG_SYN, seq=99)
+    made.handle(CallerPacket(first), SETTLED)
+    actions = made.handle(FlowRefused(key, "busy"), SETTLED)
+    assert actions == [ResetCaller(first, "busy")]
+
+
+def test_caller_reset_cancels_a_held_flow() -> None:
+    made = engine()
+    key = key_of(1)
+    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
+    reset = CallerPacket(segment(key, FLAG_RST, seq=100))
+    assert made.handle(reset, SETTLED) == [CancelPlacement(key)]
+    assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [FlowClosed(key, SERVER)]
+
+
+def test_counts_work_by_unanswered_bytes() -> None:
+    made = engine()
+    key = key_of(1)
+    open_flow(made, key)
+    assert made.handle(Tick(), SETTLED + 2) == [WorkAnswered(key, SERVER)]
+    assert made.route_caller(key, FLAG_ACK, 100, 500, 40, SETTLED + 3) == SERVER
+    assert made.route_caller(key, FLAG_ACK, 140, 500, 40, SETTLED + 3) == SERVER
+    assert made.drain() == [WorkStarted(key, SERVER)]
+    assert made.route_reply(key, FLAG_ACK, 500, 180, 10, SERVER, SETTLED + 4)
+    assert made.route_reply(key, FLAG_ACK, 510, 180, 10, SERVER, SETTLED + 4)
+    assert made.drain() == [WorkAnswered(key, SERVER)]
+
+
+def test_first_packet_passes_owner_and_backup_before_the_server() -> None:
+    names = ("a", "b", "c")
+    key = key_of(1)
+    engines = {name: engine(name) for name in names}
+    for made in engines.values():
+        made.handle(ViewChanged(vms(*names)), 0.0)
+    rank = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
+    first = segment(key, FLAG_SYN, seq=99)
+    ingress, owner, backup = engines[rank[2]], engines[rank[0]], engines[rank[1]]
+    (passed,) = ingress.handle(CallerPacket(first), SETTLED)
+    assert isinstance(passed, SendToPeer)
+    assert (passed.vm, passed.passing.stage) == (rank[0], Stage.TO_OWNER)
+    peer = PeerPacket(VmId(rank[2]), passed.passing, first)
+    assert kinds(owner.handle(peer, SETTLED)) == ["AskPlacement"]
+    actions = owner.handle(FlowPlaced(key, SERVER), SETTLED)
+    assert kinds(actions) == ["WorkStarted", "SendToPeer"]
+    store = actions[1]
+    assert isinstance(store, SendToPeer)
+    assert (store.vm, store.passing.stage) == (rank[1], Stage.STORE)
+    peer = PeerPacket(VmId(rank[0]), store.passing, first)
+    assert backup.handle(peer, SETTLED) == [SendToServer(SERVER, b"packet")]
+
+
+@pytest.mark.parametrize(
+    ("announced", "reaches"),
+    [(ENTRIES, True), (None, True), (PAGESETTER, False)],
+)
+def test_open_flow_follows_what_its_server_announces(
+    announced: ServiceName | None, reaches: bool
+) -> None:
+    made = engine()
+    key = key_of(1)
+    open_flow(made, key)
+    servers = () if announced is None else (ServerRoute(SERVER, announced),)
+    made.handle(routes(*servers, revision=2), SETTLED)
+    assert (made.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER) == reaches
+    late = segment(key, seq=105, ack=500, length=5)
+    actions = kinds(made.handle(CallerPacket(late), SETTLED))
+    assert ("SendToServer" in actions) == reaches
+    assert ("ResetCaller" in actions) != reaches
+
+
+def test_new_flow_is_not_bound_to_a_server_that_is_gone() -> None:
+    made = engine()
+    key = key_of(1)
+    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
+    made.handle(routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
+    assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [
+        FlowClosed(key, SERVER),
+        RefreshRoute(Refusal.SERVER_GONE, ENTRIES, SERVER),
+        AskPlacement(key, ENTRIES),
+    ]
+    assert kinds(made.handle(FlowPlaced(key, SECOND), SETTLED)) == [
+        "WorkStarted",
+        "SendToServer",
+    ]
+
+
+def test_reply_of_another_server_is_dropped() -> None:
+    made = engine()
+    key = key_of(1)
+    open_flow(made, key)
+    reply = segment(key, seq=500, ack=100, length=9)
+    crossed = made.handle(ServerPacket(reply, SECOND), SETTLED)
+    assert crossed == [Dropped(Refusal.CROSSED)]
+    assert made.handle(ServerPacket(reply, SERVER), SETTLED)[-1] == SendToCaller(
+        SERVICE, b"packet"
+    )
