--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/announce/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface at which backend servers announce themselves."""
--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -6,7 +6,7 @@
 
 from expression import Error, Ok, Result
 
-from kumquatmux_core.identity import Endpoint, ServerId, Vm
+from kumquatmux_core.identity import Endpoint, ServerId, Vm, ZoneName
 from kumquatmux_core.problems import Problem
 from kumquatmux_membership.events import Announce, Depart, Drain, Lease, Ticket
 from kumquatmux_membership.known import KnownServer
@@ -57,17 +57,14 @@
 
 
 def check_retire(
-    event: Drain | Depart, known: KnownServer | None, me: Vm
+    event: Drain | Depart, known: KnownServer | None
 ) -> Result[Lease, Problem]:
     """Return the lease that drains or leaves, or why the call is refused."""
-    if known is None or session_of(known.lease.version) < event.session:
-        if not event.session or not event.service:
-            detail = "this VM does not know the server; give its session and service"
-            return Error(Problem("server-unknown", detail, event.server))
-        return _unseen(event, me)
-    if event.service and event.service != known.lease.service:
+    if known is not None and event.service not in ("", known.lease.service):
         detail = f"it belongs to service {known.lease.service}"
         return Error(Problem("address-taken", detail, event.server))
+    if known is None or session_of(known.lease.version) < event.session:
+        return _unseen(event)
     if event.session and event.session < session_of(known.lease.version):
         detail = f"its latest session is {session_of(known.lease.version)}"
         return Error(Problem("session-old", detail, event.server))
@@ -97,7 +94,11 @@
     return 0 <= now - ticket.stamp <= settings.ticket_seconds
 
 
-def _unseen(event: Drain | Depart, me: Vm) -> Result[Lease, Problem]:
+def _unseen(event: Drain | Depart) -> Result[Lease, Problem]:
+    """Return a lease for a session that this VM has not seen; its zone is empty."""
+    if not event.session or not event.service:
+        detail = "this VM does not know the server; give its session and service"
+        return Error(Problem("server-unknown", detail, event.server))
     ip, _, port = event.server.rpartition(":")
     if not port.isdecimal():
         return Error(Problem("wrong-server", "its name is not ip:port", event.server))
@@ -105,7 +106,7 @@
         server=event.server,
         endpoint=Endpoint(ip, int(port)),
         service=event.service,
-        zone=me.zone,
+        zone=ZoneName(""),
         slots=0,
         connections=0,
         draining=False,
--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -7,6 +7,7 @@
 from kumquatmux_core.identity import ServerId
 from kumquatmux_membership.events import Lease
 from kumquatmux_membership.phases import Phase, phase_of
+from kumquatmux_membership.settings import LeaseSettings
 
 
 class KnownServer(NamedTuple):
@@ -22,29 +23,37 @@
 
 
 class KnownServers:
-    """Servers by name, so that no older message undoes what a later one said."""
+    """Servers by name, so that no older message undoes what a later one said.
 
-    def __init__(self) -> None:
+    Args:
+        settings: How long an address stays with its service.
+    """
+
+    def __init__(self, settings: LeaseSettings) -> None:
+        self.settings = settings
         self.servers: dict[ServerId, KnownServer] = {}
 
     def get(self, server: ServerId) -> KnownServer | None:
         """Return what is known of a server."""
         return self.servers.get(server)
 
-    def phase(self, server: ServerId) -> Phase:
-        """Return the phase of a server that is known."""
-        return phase_of(self.servers[server].lease.version)
-
     def merge(self, lease: Lease, now: float) -> None:
         """Take a lease that somebody holds now."""
         before = self.servers.get(lease.server)
         if before is not None and before.lease.version > lease.version:
             return
+        if before is not None and self._belongs_elsewhere(lease, before, now):
+            return
         at = now
         if phase_of(lease.version) == Phase.LEFT and before is not None:
             at = before.at
         self.servers[lease.server] = KnownServer(lease, at)
 
+    def _belongs_elsewhere(self, lease: Lease, before: KnownServer, now: float) -> bool:
+        if lease.service == before.lease.service:
+            return False
+        return now - before.at < self.settings.address_hold_seconds
+
     def seen(self, server: ServerId, now: float) -> None:
         """Note that a server which has not left is still held."""
         entry = self.servers.get(server)
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -67,7 +67,7 @@
         self.me = me
         self.settings = settings
         self.holder = Holder()
-        self.known = KnownServers()
+        self.known = KnownServers(settings)
         self.told: dict[VmId, ToldTable] = {}
         self.peers: dict[VmId, Vm] = {}
         self.notices = Notices(settings)
@@ -228,6 +228,8 @@
         own = self.holder.held.get(lease.server)
         if own is None or own.lease.version >= lease.version:
             return
+        if own.lease.service != lease.service:
+            return
         if _same_session(own.lease, lease):
             moved = at_phase(own.lease, phase_of(lease.version))
             self.holder.hold(moved, own.expires)
@@ -250,7 +252,7 @@
     def _retire(self, event: Drain | Depart, phase: Phase, now: float) -> None:
         """Drain or leave: note it, tell all, answer whether it surely holds."""
         known = self.known.get(event.server)
-        match check_retire(event, known, self.me):
+        match check_retire(event, known):
             case Result(tag="ok", ok=lease):
                 lease = self._in_session(lease, phase)
                 if self.notices.find(lease) is None:
@@ -268,12 +270,17 @@
             expires = now + self.settings.retired_seconds
         base = self.holder.version
         self._hold(lease, expires, now)
-        witnesses = {vm.vm for vm in self.peers.values() if vm.zone == lease.zone}
+        witnesses = self._witnesses(lease)
         self.notices.add(lease, self.holder.version, set(witnesses), now)
         for vm in witnesses:
             self._send_table(vm, base, ack=True)
         self._push(base, now, skip=witnesses)
 
+    def _witnesses(self, lease: Lease) -> set[VmId]:
+        """Return the VMs that may hold a server: those of its zone, if it is known."""
+        zones = (lease.zone,) if lease.zone else {vm.zone for vm in self.peers.values()}
+        return {vm.vm for vm in self.peers.values() if vm.zone in zones}
+
     def _desk(self, now: float) -> Desk:
         started = self.started if self.started is not None else now
         unheard = [vm for vm in self.peers if self._table(vm).confirmed < started]
