Set membership defaults to the stated detection time

Cause: a dead VM is to be out of the view within 3 s and a leave in force within 3 s; the defaults of 4 s until removal and 10 s of lease could not meet this.

--- a/libs/settings/src/kumquatmux_settings/schema.py
+++ b/libs/settings/src/kumquatmux_settings/schema.py
@@ -118,8 +118,8 @@
     "Failure detection among the system's VMs.",
     (
         Whole("heartbeat_ms", 500, 50, 10_000, "ms", "Time between heartbeats."),
-        Whole("suspect_ms", 2000, 100, 60_000, "ms", "Silence until suspicion."),
-        Whole("remove_ms", 4000, 200, 120_000, "ms", "Silence until removal."),
+        Whole("suspect_ms", 1500, 100, 60_000, "ms", "Silence until suspicion."),
+        Whole("remove_ms", 2500, 200, 120_000, "ms", "Silence until removal."),
     ),
 )
 
@@ -127,7 +127,7 @@
     "leases",
     "Announcements of backend servers.",
     (
-        Whole("lease_ms", 10_000, 1000, 300_000, "ms", "Time between renewals."),
+        Whole("lease_ms", 4000, 2000, 60_000, "ms", "Life of a lease not renewed."),
         Whole("echo_fresh_ms", 2500, 200, 2500, "ms", "Age of an echo that confirms."),
     ),
 )
