Join replica, change log and settings copy into a control core

Control VMs put changes into the log, answer each operator once and push accepted revisions: the leader to all VMs, a follower to its own zone. A failed disk stands down and says why.

--- /dev/null
+++ b/libs/daemons/tests/test_control_core.py
@@ -0,0 +1,220 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from expression import Error, Ok
+
+from kumquatmux_agreement.entries import (
+    DurableState,
+    ReplicaId,
+    founding_state,
+    joining_state,
+)
+from kumquatmux_agreement.events import Role
+from kumquatmux_agreement.settings import ReplicaSettings
+from kumquatmux_core.identity import Endpoint
+from kumquatmux_core.problems import Problem
+from kumquatmux_daemons.control.core import ControlCore, ControlSettings, Member
+from kumquatmux_daemons.control.effects import (
+    Ask,
+    FromCopy,
+    FromReplica,
+    Send,
+    StoodDown,
+    Tell,
+    Tick,
+)
+from kumquatmux_daemons.operators.desk import NotLeader, Settled, Uncertain
+from kumquatmux_settings.change import Change, Edit, Verdict
+from kumquatmux_settings.copy_events import DistributionSettings, Received, SendMessage
+from kumquatmux_settings.distribution import SettingsCopy
+from kumquatmux_settings.messages import MESSAGE_TYPES
+
+STEP_S = 0.1
+CONTROL = {
+    f"{zone}-c": Member(f"{zone}-c", zone, Endpoint(f"10.0.{number}.9", 4800))
+    for number, zone in enumerate(("cnx-a", "cnx-b", "lpg-a"))
+}
+ENTRY = tuple(Member(f"{zone}-1", zone) for zone in ("cnx-a", "cnx-b", "lpg-a"))
+
+
+class Folder:
+    """Keeps what is persisted; fails on demand."""
+
+    def __init__(self, state):
+        self.state = state
+        self.fails = False
+
+    def write(self, persist):
+        if self.fails:
+            return Error(Problem("disk-failed", "the disk failed"))
+        vote, snapshot, entries = self.state
+        vote = persist.vote or vote
+        if persist.snapshot is not None:
+            snapshot = persist.snapshot
+            entries = tuple(e for e in entries if e.log_index > snapshot.log_index)
+            entries = entries if persist.keep_entries else ()
+        if persist.entries:
+            first = persist.entries[0].log_index
+            entries = tuple(e for e in entries if e.log_index < first)
+            entries += persist.entries
+        self.state = DurableState(vote, snapshot, entries)
+        return Ok(None)
+
+
+class Site:
+    """Control cores and entry copies joined in memory."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.cut = set()
+        self.told = {}
+        self.effects = []
+        founder = ReplicaId("cnx-a-c", "f-cnx-a-c")
+        states = {vm: joining_state() for vm in CONTROL}
+        states["cnx-a-c"] = founding_state(founder, tuple(CONTROL))
+        self.folders = {vm: Folder(state) for vm, state in states.items()}
+        self.cores = {}
+        for vm in CONTROL:
+            self.start(vm)
+        sources = frozenset(CONTROL)
+        self.copies = {
+            m.vm: SettingsCopy(DistributionSettings(m.vm, sources), Random(2))
+            for m in ENTRY
+        }
+
+    def start(self, vm):
+        me = CONTROL[vm]
+        others = tuple(member for member in CONTROL.values() if member != me)
+        peers = tuple(member.vm for member in others)
+        replica = ReplicaSettings("site", ReplicaId(vm, f"f-{vm}"), peers)
+        settings = ControlSettings(replica, me.zone, others, ENTRY)
+        folder = self.folders[vm]
+        rng = Random(list(CONTROL).index(vm))
+        self.cores[vm] = ControlCore(settings, folder.state, folder, rng)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            for vm in list(self.cores):
+                self.give(vm, Tick())
+
+    def give(self, vm, event):
+        queue = [(vm, event)]
+        while queue:
+            vm, event = queue.pop(0)
+            for effect in self.cores[vm].handle(event, self.now):
+                self.effects.append(effect)
+                if isinstance(effect, Tell):
+                    self.told[effect.token] = effect.handling
+                elif isinstance(effect, Send) and not self.cut & {vm, effect.vm}:
+                    queue += self.deliver(effect.vm, effect.message)
+
+    def deliver(self, vm, message):
+        if vm in self.cores:
+            is_copy = type(message) in MESSAGE_TYPES.values()
+            return [(vm, FromCopy(message) if is_copy else FromReplica(message))]
+        if vm not in self.copies:
+            return []
+        actions = self.copies[vm].handle(Received(message), self.now)
+        sends = [a for a in actions if isinstance(a, SendMessage)]
+        return [(a.vm, FromCopy(a.message)) for a in sends if a.vm in self.cores]
+
+    def leader(self):
+        live = [vm for vm in self.cores if vm not in self.cut]
+        (vm,) = [v for v in live if self.cores[v].replica.status().role == Role.LEADER]
+        return vm
+
+    def ask(self, vm, change, token):
+        self.give(vm, Ask(change, token))
+        return self.told.get(token)
+
+    def revisions(self):
+        return {copy.revision for copy in self.copies.values()}
+
+
+def change(change_id, base, hold_ms=5):
+    edits = (Edit("defaults.placement.hold_ms", str(hold_ms)),)
+    return Change(change_id, base, "nok", "", edits)
+
+
+@pytest.fixture
+def site():
+    site = Site()
+    site.run(12.0)
+    return site
+
+
+def test_an_accepted_change_is_in_force_on_every_vm(site):
+    told = site.ask(site.leader(), change("c1", 0), "t1")
+    assert told.outcome.verdict is Verdict.ACCEPTED
+    site.run(1.0)
+    assert site.revisions() == {1}
+    assert {core.changes.revision for core in site.cores.values()} == {1}
+    site.run(2.0)
+    assert max(copy.staleness(site.now) for copy in site.copies.values()) < 2.0
+
+
+def test_a_follower_names_the_leaders_endpoint(site):
+    leader = site.leader()
+    follower = next(vm for vm in CONTROL if vm != leader)
+    told = site.ask(follower, change("c1", 0), "t1")
+    assert isinstance(told, NotLeader)
+    assert told.leader == CONTROL[leader].operators
+    assert site.revisions() == {0}
+
+
+def test_a_race_on_one_base_has_one_winner_and_resending_tells_the_same(site):
+    leader = site.leader()
+    first = site.ask(leader, change("c1", 0, 5), "t1")
+    second = site.ask(leader, change("c2", 0, 6), "t2")
+    again = site.ask(leader, change("c1", 0, 5), "t3")
+    verdicts = [told.outcome.verdict for told in (first, second, again)]
+    assert verdicts == [Verdict.ACCEPTED, Verdict.CONFLICT, Verdict.ACCEPTED]
+    assert again == first
+
+
+def test_a_refused_change_names_key_value_and_reason(site):
+    told = site.ask(site.leader(), change("c1", 0, -1), "t1")
+    assert told.outcome.verdict is Verdict.INVALID
+    assert "defaults.placement.hold_ms: -1 must be from 0" in told.outcome.detail
+
+
+def test_an_isolated_leader_accepts_nothing_and_shows_staleness(site):
+    old = site.leader()
+    site.cut = {old}
+    told = site.ask(old, change("c1", 0), "t1")
+    assert told is None
+    site.run(15.0)
+    assert isinstance(site.told["t1"], Uncertain | NotLeader)
+    new = site.leader()
+    assert isinstance(site.ask(new, change("c2", 0, 7), "t2"), Settled)
+    assert site.cores[old].changes.revision == 0
+    assert site.cores[old].copy.staleness(site.now) > 10.0
+    site.cut = set()
+    site.run(5.0)
+    assert site.cores[old].changes.values == {"defaults.placement.hold_ms": "7"}
+
+
+def test_a_failed_disk_stands_down_and_says_so(site):
+    leader = site.leader()
+    site.folders[leader].fails = True
+    site.ask(leader, change("c1", 0), "t1")
+    site.run(15.0)
+    assert site.cores[leader].failure == "the disk failed [disk-failed]"
+    assert StoodDown("the disk failed [disk-failed]") in site.effects
+    del site.cores[leader]
+    assert site.ask(site.leader(), change("c1", 0), "t2").outcome.revision == 1
+
+
+def test_all_restart_with_hundreds_of_changes_and_go_on(site):
+    leader = site.leader()
+    for number in range(300):
+        site.ask(leader, change(f"c{number}", number, number), f"t{number}")
+    for vm in CONTROL:
+        site.start(vm)
+    site.run(15.0)
+    assert {core.changes.revision for core in site.cores.values()} == {300}
+    told = site.ask(site.leader(), change("c299", 299, 299), "again")
+    assert told.outcome.revision == 300
