Bound the retained revisions in a class of their own

Cause: the change log held three matters in one module and a second digest. Change: revisions.py keeps the past; the digest and the validator's signature are those of the tree library.

--- a/libs/settings/src/kumquatmux_settings/changelog.py
+++ b/libs/settings/src/kumquatmux_settings/changelog.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -13,14 +12,18 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.problems import Problem
 from kumquatmux_settings.change import Change, ChangeOutcome, Edit, Verdict
+from kumquatmux_settings.digest import EMPTY_DIGEST, digest_after, digest_of
+from kumquatmux_settings.revisions import Revision, Revisions, apply_edits, difference
 
 FORMAT_VERSION = 1
-DIGEST_BITS = 64
 CHANGE_ID_CHARACTERS = 128
 DETAIL_CHARACTERS = 1000
 
-Validator = Callable[[Mapping[str, str]], Problem | None]
-"""Judges a whole tree of values by path; None if it is sound. Deterministic."""
+Validator = Callable[[Mapping[str, str], Mapping[str, str]], list[Problem]]
+"""Judges the values a change would make, given those in force.
+
+It is to say the same on every replica; empty if the change may come into force.
+"""
 
 
 class ChangeLogSettings(NamedTuple):
@@ -39,30 +42,6 @@
     change_bytes: int = 262_144
 
 
-class Revision(NamedTuple):
-    """One accepted change as history shows it.
-
-    Attributes:
-        number: The revision it made.
-        change_id: Which change.
-        operator: Who asked.
-        note: Why.
-        at: When it was asked for, seconds since 1970.
-        edits: What changed against the revision before.
-        inverse: What leads back to it.
-        digest: Digest of the values at this revision.
-    """
-
-    number: int
-    change_id: str
-    operator: str
-    note: str
-    at: float
-    edits: tuple[Edit, ...]
-    inverse: tuple[Edit, ...]
-    digest: str
-
-
 class Remembered(NamedTuple):
     """The first outcome of a change, for when it is resent.
 
@@ -103,29 +82,6 @@
         return Error(Problem("change-malformed", str(error)))
 
 
-def apply_edits(values: Mapping[str, str], edits: tuple[Edit, ...]) -> dict[str, str]:
-    """Return values after edits, in order."""
-    edited = dict(values)
-    for edit in edits:
-        if edit.value is None:
-            edited.pop(edit.path, None)
-        else:
-            edited[edit.path] = edit.value
-    return edited
-
-
-def difference(old: Mapping[str, str], new: Mapping[str, str]) -> tuple[Edit, ...]:
-    """Return the edits that lead from old values to new ones, by path."""
-    unset = [Edit(path, None) for path in old if path not in new]
-    given = [Edit(path, value) for path, value in new.items() if old.get(path) != value]
-    return tuple(sorted(unset + given, key=lambda edit: edit.path))
-
-
-def digest_of(values: Mapping[str, str]) -> str:
-    """Return the digest of values: 16 hexadecimal digits, whatever their order."""
-    return _hex(_sum_of(values.items()))
-
-
 class ChangeLog:
     """Values by path, their revisions and the outcome of each change.
 
@@ -137,7 +93,8 @@
         floor: A change based on an earlier revision that is not remembered is
             expired: all forgotten changes are.
         values: JSON text by dotted path.
-        history: The revisions retained, oldest first.
+        digest: Digest of the values.
+        revisions: The revisions retained.
         remembered: Outcomes by change id, oldest first.
     """
 
@@ -148,15 +105,9 @@
         self.revision = 0
         self.floor = 0
         self.values: dict[str, str] = {}
-        self.history: deque[Revision] = deque()
-        self.history_bytes = 0
+        self.revisions = self._no_revisions()
         self.remembered: dict[str, Remembered] = {}
-        self._digest = 0
-
-    @property
-    def digest(self) -> str:
-        """Digest of the values in force."""
-        return _hex(self._digest)
+        self.digest = EMPTY_DIGEST
 
     def apply(self, index: int, entry: bytes) -> ChangeOutcome:
         """Run one committed entry.
@@ -204,25 +155,12 @@
         return known.outcome if known else None
 
     def values_at(self, revision: int) -> dict[str, str] | None:
-        """Return the values at a retained revision, None if it is not retained."""
-        if not self._is_retained(revision):
-            return None
-        values = dict(self.values)
-        for past in reversed(self.history):
-            if past.number <= revision:
-                break
-            values = apply_edits(values, past.inverse)
-        return values
+        """Return the values at a revision, None if it is not retained."""
+        return self.revisions.values_at(self.values, self.revision, revision)
 
     def since(self, revision: int) -> tuple[Edit, ...] | None:
         """Return the edits from a revision to the one in force, None if too old."""
-        if not self._is_retained(revision):
-            return None
-        latest: dict[str, Edit] = {}
-        for past in self.history:
-            if past.number > revision:
-                latest.update((edit.path, edit) for edit in past.edits)
-        return tuple(latest[path] for path in sorted(latest))
+        return self.revisions.since(self.revision, revision)
 
     def snapshot(self) -> bytes:
         """Return the whole state as bytes."""
@@ -233,7 +171,7 @@
             self.floor,
             self.digest,
             self.values,
-            tuple(self.history),
+            tuple(self.revisions.retained),
             tuple(self.remembered.values()),
         )
         return msgspec.msgpack.encode(state)
@@ -253,12 +191,16 @@
         self.revision = state.revision
         self.floor = state.floor
         self.values = state.values
-        self._digest = int(state.digest, 16)
-        self.history = deque(state.history)
-        self.history_bytes = sum(map(_size_bytes, state.history))
+        self.digest = state.digest
+        self.revisions = self._no_revisions()
+        for past in state.history:
+            self.revisions.add(past)
         self.remembered = {one.outcome.change_id: one for one in state.remembered}
         return Ok(None)
 
+    def _no_revisions(self) -> Revisions:
+        return Revisions(self.settings.revisions, self.settings.revision_bytes)
+
     def _resent(self, known: Remembered, fingerprint: str) -> ChangeOutcome:
         if known.fingerprint == fingerprint:
             return known.outcome
@@ -273,9 +215,9 @@
         wanted = self._wanted_values(change)
         if wanted.is_error():
             return self._invalid(change, wanted.error)
-        problem = self.validate(wanted.ok)
-        if problem is not None:
-            return self._invalid(change, problem)
+        problems = self.validate(wanted.ok, self.values)
+        if problems:
+            return self._invalid(change, *problems)
         self._accept(change, wanted.ok)
         return ChangeOutcome(change.change_id, Verdict.ACCEPTED, self.revision)
 
@@ -306,21 +248,18 @@
             return Error(Problem("undo-edits", "an undo carries no edits"))
         values = self.values_at(change.undo_to)
         if values is None:
-            oldest = self.revision - len(self.history)
-            detail = f"revision {change.undo_to} is not retained, oldest is {oldest}"
+            detail = f"revision {change.undo_to} is not retained"
             return Error(Problem("undo-unknown", detail))
         return Ok(values)
 
-    def _invalid(self, change: Change, problem: Problem) -> ChangeOutcome:
-        detail = str(problem)[:DETAIL_CHARACTERS]
+    def _invalid(self, change: Change, *problems: Problem) -> ChangeOutcome:
+        detail = "; ".join(map(str, problems))[:DETAIL_CHARACTERS]
         return ChangeOutcome(change.change_id, Verdict.INVALID, self.revision, detail)
 
     def _accept(self, change: Change, wanted: dict[str, str]) -> None:
         edits = difference(self.values, wanted)
         inverse = difference(wanted, self.values)
-        gone = [(edit.path, edit.value) for edit in inverse if edit.value is not None]
-        come = [(edit.path, edit.value) for edit in edits if edit.value is not None]
-        self._digest = (self._digest - _sum_of(gone) + _sum_of(come)) % 2**DIGEST_BITS
+        self.digest = digest_after(self.digest, self.values, edits)
         self.values = wanted
         self.revision += 1
         made = Revision(
@@ -333,38 +272,9 @@
             inverse,
             self.digest,
         )
-        self.history.append(made)
-        self.history_bytes += _size_bytes(made)
-        self._forget_revisions()
-
-    def _forget_revisions(self) -> None:
-        while (
-            len(self.history) > self.settings.revisions
-            or self.history_bytes > self.settings.revision_bytes
-        ):
-            self.history_bytes -= _size_bytes(self.history.popleft())
+        self.revisions.add(made)
 
     def _forget_outcomes(self) -> None:
         while len(self.remembered) > self.settings.outcomes:
             oldest = self.remembered.pop(next(iter(self.remembered)))
             self.floor = max(self.floor, oldest.base_revision + 1)
-
-    def _is_retained(self, revision: int) -> bool:
-        return self.revision - len(self.history) <= revision <= self.revision
-
-
-def _size_bytes(revision: Revision) -> int:
-    edits = revision.edits + revision.inverse
-    text = revision.change_id + revision.operator + revision.note
-    return len(text) + sum(len(edit.path) + len(edit.value or "") for edit in edits)
-
-
-def _sum_of(items: Iterable[tuple[str, str]]) -> int:
-    total = 0
-    for path, value in items:
-        total += xxhash.xxh3_64_intdigest(f"{path}={value}".encode())
-    return total % 2**DIGEST_BITS
-
-
-def _hex(digest: int) -> str:
-    return f"{digest:016x}"
