--- a/libs/storage/src/kumquatmux_storage/__init__.py
+++ b/libs/storage/src/kumquatmux_storage/__init__.py
@@ -1,3 +1,7 @@
-"""Durable files: checksummed segments, snapshots and the vote record."""
+"""Durable files of a replica under one data folder."""
 
 from __future__ import annotations
+
+from kumquatmux_storage.store import Identity, Store, open_or_create, open_store
+
+__all__ = ["Identity", "Store", "open_or_create", "open_store"]
--- /dev/null
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -0,0 +1,161 @@
+"""The narrow interface to a disk, and the real one."""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import os
+from pathlib import Path
+from typing import Protocol
+
+from expression import Error, Ok, Result
+
+from kumquatmux_core.problems import Problem
+
+LOCK_NAME = "lock"
+FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+
+
+class Disk(Protocol):
+    """Files of one folder; every method may raise ``OSError``.
+
+    What is written lasts only once the file is synced; new, renamed and removed
+    names last only once the names are synced.
+    """
+
+    def names(self) -> list[str]:
+        """Return the names of all files."""
+
+    def read(self, name: str) -> bytes:
+        """Return a whole file."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file, which is made if it is missing."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Overwrite a file from its start, which is made if it is missing."""
+
+    def truncate(self, name: str, length: int) -> None:
+        """Cut a file to a length in bytes."""
+
+    def sync(self, name: str) -> None:
+        """Make the content of a file last."""
+
+    def rename(self, old: str, new: str) -> None:
+        """Give a file another name, in place of a file that has it."""
+
+    def sync_names(self) -> None:
+        """Make the names of all files last."""
+
+
+class FolderDisk:
+    """The files of a real folder, held by one process at a time.
+
+    Attributes:
+        folder: Where the files are.
+    """
+
+    def __init__(self, folder: Path, lock: int) -> None:
+        self.folder = folder
+        self._lock = lock
+        self._open: dict[str, int] = {}
+
+    def names(self) -> list[str]:
+        """Return the names of all files but the lock."""
+        found = (path.name for path in self.folder.iterdir() if path.is_file())
+        return sorted(name for name in found if name != LOCK_NAME)
+
+    def read(self, name: str) -> bytes:
+        """Return a whole file."""
+        return (self.folder / name).read_bytes()
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file."""
+        file = self._file(name)
+        os.lseek(file, 0, os.SEEK_END)
+        _write_all(file, data)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Overwrite a file from its start."""
+        file = self._file(name)
+        os.lseek(file, 0, os.SEEK_SET)
+        _write_all(file, data)
+        os.ftruncate(file, len(data))
+
+    def truncate(self, name: str, length: int) -> None:
+        """Cut a file to a length in bytes."""
+        os.ftruncate(self._file(name), length)
+
+    def sync(self, name: str) -> None:
+        """Make the content of a file last."""
+        os.fsync(self._file(name))
+
+    def rename(self, old: str, new: str) -> None:
+        """Give a file another name."""
+        self._close(new)
+        self._close(old)
+        os.replace(self.folder / old, self.folder / new)
+
+    def sync_names(self) -> None:
+        """Make the names of all files last."""
+        handle = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+    def close(self) -> None:
+        """Let go of the folder."""
+        for name in list(self._open):
+            self._close(name)
+        os.close(self._lock)
+
+    def _file(self, name: str) -> int:
+        file = self._open.get(name)
+        if file is None:
+            flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+            file = os.open(self.folder / name, flags, 0o600)
+            self._open[name] = file
+        return file
+
+    def _close(self, name: str) -> None:
+        file = self._open.pop(name, None)
+        if file is not None:
+            os.close(file)
+
+
+def open_folder(folder: Path) -> Result[FolderDisk, Problem]:
+    """Return the files of a folder, which is made if missing, and lock it.
+
+    Errors:
+        ``folder-in-use`` if another process holds it, ``disk-full`` or
+        ``disk-failed`` if it cannot be made.
+    """
+    try:
+        folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+        lock = os.open(folder / LOCK_NAME, flags, 0o600)
+    except OSError as error:
+        return Error(problem_of(error, str(folder)))
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        detail = "another process uses this data folder"
+        return Error(Problem("folder-in-use", detail, str(folder)))
+    return Ok(FolderDisk(folder, lock))
+
+
+def problem_of(error: OSError, subject: str) -> Problem:
+    """Return an operating system's error as a problem."""
+    if error.errno in FULL_ERRORS:
+        detail = "the disk is full; free space and restart this process"
+        return Problem("disk-full", detail, subject)
+    detail = f"the disk failed: {error.strerror or error}"
+    return Problem("disk-failed", detail, subject)
+
+
+def _write_all(file: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(file, view) :]
--- /dev/null
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -0,0 +1,267 @@
+"""A replica's durable state in one data folder."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from kumquatmux_agreement.entries import DurableState, Entry, Snapshot
+from kumquatmux_agreement.events import Persist
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.problems import Problem
+from kumquatmux_storage import files, frames
+from kumquatmux_storage.disk import Disk, problem_of
+from kumquatmux_storage.files import Base, Identity, SyncedLength
+
+
+class Store:
+    """An open data folder.
+
+    Attributes:
+        disk: Its files.
+        identity: Whose folder it is.
+        restored: What it held when it was opened.
+        entries: The entries in the log file.
+        base: First frame of the log file.
+        length: Length of the log file in bytes.
+        failure: The first write that failed; nothing is written after it.
+    """
+
+    def __init__(
+        self,
+        disk: Disk,
+        identity: Identity,
+        restored: DurableState,
+        log: files.LogFile,
+    ) -> None:
+        self.disk = disk
+        self.identity = identity
+        self.restored = restored
+        self.entries = list(log.entries)
+        self.base = log.base
+        self.length = log.length
+        self.failure: Problem | None = None
+
+    def write(self, persist: Persist) -> Result[None, Problem]:
+        """Make a ``Persist`` durable; when it returns Ok all of it is synced.
+
+        Errors:
+            ``disk-full`` or ``disk-failed``. What is on the disk is then unknown
+            until the folder is opened again, so every later write fails too.
+        """
+        if self.failure is not None:
+            return Error(self.failure)
+        try:
+            self._write(persist)
+        except OSError as error:
+            self.failure = problem_of(error, error.filename or "data folder")
+            log_decision("storage-failed", problem=self.failure)
+            return Error(self.failure)
+        return Ok(None)
+
+    def _write(self, persist: Persist) -> None:
+        if persist.vote is not None:
+            replace_file(self.disk, files.VOTE, persist.vote)
+        if persist.snapshot is not None:
+            self._write_snapshot(persist.snapshot, keep=persist.keep_entries)
+        if persist.entries:
+            self._append(persist.entries)
+
+    def _append(self, entries: tuple[Entry, ...]) -> None:
+        data = frames.frame(files.encode(entries), self.length)
+        self.disk.append(files.LOG, data)
+        self.disk.sync(files.LOG)
+        self.length += len(data)
+        place = entries[0].log_index - self.base.log_index - 1
+        self.entries[place:] = entries
+        self._note_length()
+
+    def _write_snapshot(self, snapshot: Snapshot, *, keep: bool) -> None:
+        replace_file(self.disk, files.SNAPSHOT, snapshot)
+        kept = [one for one in self.entries if one.log_index > snapshot.log_index]
+        self.entries = kept if keep else []
+        self.rewrite_log(snapshot)
+
+    def rewrite_log(self, snapshot: Snapshot) -> None:
+        """Write the log file anew, to begin after a snapshot."""
+        generation = self.base.generation + 1
+        self.base = Base(generation, snapshot.log_index, snapshot.term)
+        data = log_bytes(self.base, tuple(self.entries))
+        _replace(self.disk, files.LOG, data)
+        self.length = len(data)
+        self._note_length()
+
+    def _note_length(self) -> None:
+        """Note how much of the log is synced.
+
+        The note is not synced itself: it only tells a damaged record from one that
+        was never whole, and may lag.
+        """
+        note = SyncedLength(self.base.generation, self.length)
+        self.disk.replace(files.SYNCED, files.whole_file(files.SYNCED, note))
+
+
+class FolderContent(NamedTuple):
+    """All files of a folder, read and checked."""
+
+    state: DurableState
+    log: files.LogFile
+
+
+def open_or_create(
+    disk: Disk, identity: Identity, first: DurableState
+) -> Result[Store, Problem]:
+    """Open a data folder, or create it if it is empty.
+
+    Args:
+        disk: The files of the folder.
+        identity: Cluster and VM it has to belong to, and the folder name it gets
+            if it is created.
+        first: What a created folder holds: ``founding_state`` on the one VM that
+            founds a cluster, ``joining_state`` everywhere else.
+    """
+    opened = open_store(disk)
+    if opened.is_error():
+        return Error(opened.error)
+    store = opened.ok
+    if store is None:
+        return create_store(disk, identity, first)
+    found = store.identity
+    if (found.cluster, found.vm) != (identity.cluster, identity.vm):
+        detail = f"the folder belongs to VM {found.vm} of cluster {found.cluster}"
+        return Error(Problem("folder-of-another", detail, files.IDENTITY))
+    return Ok(store)
+
+
+def open_store(disk: Disk) -> Result[Store | None, Problem]:
+    """Open a data folder; None if it is empty.
+
+    A record torn by a crash at the end of the log is cut off.
+
+    Errors:
+        ``file-missing``, ``file-damaged``, ``log-damaged`` and the like, with file
+        and offset. Nothing is changed then.
+    """
+    try:
+        return _open(disk)
+    except OSError as error:
+        return Error(problem_of(error, error.filename or "data folder"))
+
+
+def create_store(
+    disk: Disk, identity: Identity, first: DurableState
+) -> Result[Store, Problem]:
+    """Create a data folder; it counts as created once its identity is written."""
+    base = Base(1, first.snapshot.log_index, first.snapshot.term)
+    data = log_bytes(base, first.entries)
+    try:
+        replace_file(disk, files.VOTE, first.vote)
+        replace_file(disk, files.SNAPSHOT, first.snapshot)
+        _replace(disk, files.LOG, data)
+        replace_file(disk, files.IDENTITY, identity)
+    except OSError as error:
+        return Error(problem_of(error, error.filename or "data folder"))
+    log_decision(
+        "storage-created",
+        cluster=identity.cluster,
+        vm=identity.vm,
+        folder=identity.folder,
+    )
+    log = files.LogFile(base, first.entries, len(data), is_torn=False)
+    return Ok(Store(disk, identity, first, log))
+
+
+def replace_file(disk: Disk, name: str, record: NamedTuple) -> None:
+    """Replace a file by one record so that a crash leaves the old or the new one."""
+    _replace(disk, name, files.whole_file(name, record))
+
+
+def log_bytes(base: Base, entries: tuple[Entry, ...]) -> bytes:
+    """Return a whole log file."""
+    data = frames.file_header(files.KINDS[files.LOG])
+    data += frames.frame(files.encode(base), len(data))
+    if entries:
+        data += frames.frame(files.encode(entries), len(data))
+    return data
+
+
+def _open(disk: Disk) -> Result[Store | None, Problem]:
+    names = set(disk.names())
+    durable = {files.VOTE, files.SNAPSHOT, files.LOG}
+    if files.IDENTITY not in names:
+        return _without_identity(disk, names & durable)
+    missing = sorted(durable - names)
+    if missing:
+        detail = f"missing beside an identity; {files.WAY_OUT}"
+        return Error(Problem("file-missing", detail, missing[0]))
+    identity = files.read_record(disk, files.IDENTITY, Identity)
+    if identity.is_error():
+        return Error(identity.error)
+    content = _read_content(disk)
+    if content.is_error():
+        return Error(content.error)
+    log = content.ok.log
+    if log.is_torn:
+        disk.truncate(files.LOG, log.length)
+        disk.sync(files.LOG)
+        log_decision("storage-cut", file=files.LOG, offset=log.length)
+    state = content.ok.state
+    store = Store(disk, identity.ok, state, log._replace(entries=state.entries))
+    if state.snapshot.log_index > log.base.log_index:
+        store.rewrite_log(state.snapshot)
+    return Ok(store)
+
+
+def _without_identity(disk: Disk, found: set[str]) -> Result[Store | None, Problem]:
+    """Tell a folder whose creation was cut short from one that lost its identity."""
+    is_new = files.LOG not in found or _is_unused_log(disk)
+    has_voted = files.VOTE in found and _has_voted(disk)
+    if is_new and not has_voted:
+        return Ok(None)
+    detail = f"missing beside a log or vote; {files.WAY_OUT}"
+    return Error(Problem("identity-missing", detail, files.IDENTITY))
+
+
+def _is_unused_log(disk: Disk) -> bool:
+    log = files.read_log(disk)
+    return log.is_ok() and not log.ok.entries and log.ok.base.log_index == 0
+
+
+def _has_voted(disk: Disk) -> bool:
+    vote = files.read_vote(disk)
+    return vote.is_error() or vote.ok.term > 0
+
+
+def _read_content(disk: Disk) -> Result[FolderContent, Problem]:
+    vote = files.read_vote(disk)
+    if vote.is_error():
+        return Error(vote.error)
+    snapshot = files.read_snapshot(disk)
+    if snapshot.is_error():
+        return Error(snapshot.error)
+    log = files.read_log(disk)
+    if log.is_error():
+        return Error(log.error)
+    if snapshot.ok.log_index < log.ok.base.log_index:
+        detail = f"older than the log's first entry; {files.WAY_OUT}"
+        return Error(Problem("snapshot-old", detail, files.SNAPSHOT))
+    entries = _entries_after(snapshot.ok, log.ok)
+    return Ok(FolderContent(DurableState(vote.ok, snapshot.ok, entries), log.ok))
+
+
+def _entries_after(snapshot: Snapshot, log: files.LogFile) -> tuple[Entry, ...]:
+    """Return the log's entries after a snapshot that may be newer than the log."""
+    if snapshot.log_index == log.base.log_index:
+        return log.entries
+    place = snapshot.log_index - log.base.log_index
+    is_held = place <= len(log.entries) and log.entries[place - 1].term == snapshot.term
+    return log.entries[place:] if is_held else ()
+
+
+def _replace(disk: Disk, name: str, data: bytes) -> None:
+    temporary = name + files.TEMPORARY_SUFFIX
+    disk.replace(temporary, data)
+    disk.sync(temporary)
+    disk.rename(temporary, name)
+    disk.sync_names()
