--- a/libs/daemons/src/kumquatmux_daemons/control/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/core.py
@@ -116,7 +116,7 @@
         self.settings = settings
         self.writer = writer
         self.replica = Replica(settings.replica, restored, random)
-        self.changes = ChangeLog(settings.changelog, self._problem_with)
+        self.changes = ChangeLog(settings.changelog, validate)
         sources = frozenset(member.vm for member in settings.control)
         distribution = DistributionSettings(settings.vm, sources)
         self.copy = SettingsCopy(distribution, random)
@@ -293,7 +293,3 @@
         for action in actions:
             if isinstance(action, copy_events.SendMessage):
                 self.out.append(Send(action.vm, action.message))
-
-    def _problem_with(self, values: Any) -> Problem | None:
-        problems = validate(values, self.changes.values)
-        return problems[0] if problems else None
