--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/entry/port.py
@@ -0,0 +1,60 @@
+"""The UDP socket through which packets come and go."""
+
+from __future__ import annotations
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+import trio
+
+from kumquatmux_core.identity import Endpoint
+
+BATCH_DATAGRAMS = 64
+DATAGRAM_BYTES = 65_535
+SOCKET_BUFFER_BYTES = 8 * 1024 * 1024
+
+Handler = Callable[[bytes, tuple[str, int], float], None]
+
+
+class PacketPort:
+    """Datagrams in batches: many a turn of the loop, and never a wait to send."""
+
+    def __init__(self, bind: Endpoint) -> None:
+        self.counts: Counter[str] = Counter()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self.socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+        self.socket.bind(bind)
+
+    def send(self, data: bytes | bytearray, target: tuple[str, int]) -> None:
+        """Send a datagram; a full or refused socket drops it like any network."""
+        try:
+            self.socket.sendto(data, target)
+        except (BlockingIOError, ConnectionRefusedError):
+            self.counts["packets.unsent"] += 1
+
+    async def serve(self, handler: Handler, end_batch: Callable[[float], None]) -> None:
+        """Hand every datagram to a handler, until cancelled."""
+        while True:
+            await trio.lowlevel.wait_readable(self.socket)
+            now = trio.current_time()
+            self.read_batch(handler, now)
+            end_batch(now)
+
+    def read_batch(self, handler: Handler, now: float) -> None:
+        """Hand over the datagrams that wait, up to one batch."""
+        receive = self.socket.recvfrom
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                data, source = receive(DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except ConnectionRefusedError:
+                continue
+            handler(data, source, now)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
--- a/libs/daemons/src/kumquatmux_daemons/transport/registry.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/registry.py
@@ -7,6 +7,7 @@
 from kumquatmux_core.codec import Registry, registry
 from kumquatmux_core.identity import ServiceName
 from kumquatmux_daemons.reports import MESSAGE_TYPES as REPORT_MESSAGES
+from kumquatmux_flows.messages import BatchStored, RecordBatch
 from kumquatmux_membership.wire import MESSAGE_KINDS as MEMBERSHIP_MESSAGES
 from kumquatmux_placement.events import SlotDigest
 from kumquatmux_settings.messages import MESSAGE_TYPES as SETTINGS_MESSAGES
@@ -24,6 +25,7 @@
     servers: tuple[SlotDigest, ...]
 
 
+FLOW_MESSAGES: dict[int, type] = {0x0101: RecordBatch, 0x0102: BatchStored}
 PLACEMENT_MESSAGES: dict[int, type] = {0x0501: PlacerDigest}
 
 
@@ -31,6 +33,7 @@
     """Return the registry of every message of this protocol version."""
     return registry(
         {
+            **FLOW_MESSAGES,
             **MEMBERSHIP_MESSAGES,
             **SETTINGS_MESSAGES,
             **REPORT_MESSAGES,
--- a/libs/packets/src/kumquatmux_packets/answers.py
+++ b/libs/packets/src/kumquatmux_packets/answers.py
@@ -67,6 +67,11 @@
     return Address(key[5:9] + key[11:13])
 
 
+def target_of(key: FlowKey) -> bytes:
+    """Return protocol and service address of a flow, 7 bytes."""
+    return key[:1] + service_address(key)
+
+
 def _refuse_tcp(segment: Segment) -> bytes:
     if segment.flags & FLAG_ACK:
         flags, seq, ack = dpkt.tcp.TH_RST, segment.ack, 0
