Buffer early segments in the stand-in connection

Ruled out: packets lost in the daemons (undelivered 32). Change: early segments are kept, and the fabric stops sending to a VM it is told is gone.

--- a/libs/lab/src/kumquatmux_lab/site.py
+++ b/libs/lab/src/kumquatmux_lab/site.py
@@ -158,7 +158,7 @@
 
 
 def _entry_vms(settings: SiteSettings) -> list[SiteVm]:
-    vms = []
+    vms: list[SiteVm] = []
     for zone in settings.zones:
         for number in range(1, settings.entries_per_zone + 1):
             ip = f"127.66.0.{FIRST_ENTRY_HOST + len(vms)}"
@@ -168,7 +168,7 @@
 
 
 def _control_vms(settings: SiteSettings) -> list[SiteVm]:
-    vms = []
+    vms: list[SiteVm] = []
     for number in range(settings.controls):
         zone = settings.zones[number % len(settings.zones)]
         ip = f"127.66.0.{FIRST_CONTROL_HOST + number}"
--- a/libs/lab/src/kumquatmux_lab/standin/connection.py
+++ b/libs/lab/src/kumquatmux_lab/standin/connection.py
@@ -17,6 +17,7 @@
 GIVE_UP_S = 8.0
 SEGMENT_BYTES = 1_200
 WINDOW_SEGMENTS = 16
+EARLY_SEGMENTS = 64
 SEQ_MASK = 0xFFFFFFFF
 
 
@@ -34,6 +35,13 @@
         return self.seq + length & SEQ_MASK
 
 
+class Early(NamedTuple):
+    """A segment received, perhaps before those that come first."""
+
+    payload: bytes
+    is_last: bool
+
+
 class Connection:
     """One end of a connection; ``outgoing`` collects the packets to send."""
 
@@ -43,6 +51,7 @@
         self.next_seq = isn & SEQ_MASK
         self.expected: int | None = None
         self.unacked: list[Unacked] = []
+        self.early: dict[int, Early] = {}
         self.waiting = b""
         self.received = bytearray()
         self.established = False
@@ -139,12 +148,20 @@
         is_probe = length == 0 and tcp.seq != self.expected
         if length == 0 and not is_probe:
             return
-        if length and tcp.seq == self.expected:
-            self.received += tcp.data
-            self.expected = tcp.seq + length & SEQ_MASK
-            self.remote_closed |= bool(tcp.flags & FLAG_FIN)
+        if length and len(self.early) < EARLY_SEGMENTS:
+            is_last = bool(tcp.flags & FLAG_FIN)
+            self.early.setdefault(tcp.seq, Early(bytes(tcp.data), is_last))
+        self._take_in_order()
         self._emit(FLAG_ACK, self.next_seq, b"")
 
+    def _take_in_order(self) -> None:
+        while self.expected in self.early:
+            segment = self.early.pop(self.expected)
+            length = len(segment.payload) + segment.is_last
+            self.received += segment.payload
+            self.expected = self.expected + length & SEQ_MASK
+            self.remote_closed |= segment.is_last
+
     def _pump(self, now: float) -> None:
         if not self.established:
             return
--- a/libs/lab/src/kumquatmux_lab/standin/fabric.py
+++ b/libs/lab/src/kumquatmux_lab/standin/fabric.py
@@ -58,6 +58,16 @@
         """Let a backend server send and receive."""
         self.servers[server.local] = server
 
+    def remove_vm(self, vm: Endpoint) -> None:
+        """Send a VM no more packets, as a fabric does that misses its answers."""
+        if vm in self.vms:
+            self.vms.remove(vm)
+
+    def add_vm(self, vm: Endpoint) -> None:
+        """Send a VM packets again."""
+        if vm not in self.vms:
+            self.vms.append(vm)
+
     async def run(self) -> None:
         """Carry packets until cancelled."""
         async with trio.open_nursery() as nursery:
