--- a/libs/daemons/src/kumquatmux_daemons/transport/registry.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/registry.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from kumquatmux_agreement.messages import MESSAGE_TYPES as REPLICA_MESSAGES
 from kumquatmux_core.codec import Registry, registry
 from kumquatmux_core.identity import ServiceName
 from kumquatmux_daemons.reports import MESSAGE_TYPES as REPORT_MESSAGES
@@ -35,6 +36,7 @@
         {
             **FLOW_MESSAGES,
             **MEMBERSHIP_MESSAGES,
+            **REPLICA_MESSAGES,
             **SETTINGS_MESSAGES,
             **REPORT_MESSAGES,
             **PLACEMENT_MESSAGES,
--- a/libs/settings/src/kumquatmux_settings/distribution.py
+++ b/libs/settings/src/kumquatmux_settings/distribution.py
@@ -37,6 +37,7 @@
     Message,
     Snapshot,
 )
+from kumquatmux_settings.revisions import difference
 
 MS_PER_S = 1000.0
 
@@ -86,7 +87,7 @@
     def _(self, event: Accepted, now: float) -> list[Action]:
         if event.revision <= self.revision:
             return []
-        edits = _difference(self.values, event.values)
+        edits = difference(self.values, event.values)
         digest = digest_after(self.digest, self.values, edits)
         delta = Delta(
             self.settings.vm, self.revision, self.digest, event.revision, digest, edits
@@ -161,7 +162,7 @@
         if digest_of(values) != message.digest:
             log("settings-snapshot-refused", sender=message.sender, why="digest")
             return []
-        edits = _difference(self.values, values)
+        edits = difference(self.values, values)
         self.history.clear()
         base = Delta(
             message.sender,
@@ -266,12 +267,6 @@
         return [SendMessage(vm, DeltaRequest(self.settings.vm, self.revision, digest))]
 
 
-def _difference(old: dict[str, str], new: dict[str, str]) -> tuple[Edit, ...]:
-    unset = [Edit(path, None) for path in old if path not in new]
-    changed = [Edit(path, text) for path, text in new.items() if old.get(path) != text]
-    return tuple(unset + changed)
-
-
 def _merge(deltas: list[Delta]) -> tuple[Edit, ...]:
     merged: dict[str, Edit] = {}
     for delta in deltas:
--- a/libs/settings/src/kumquatmux_settings/node.py
+++ b/libs/settings/src/kumquatmux_settings/node.py
@@ -57,6 +57,7 @@
         region: Region of that zone.
         role: ``entry`` or ``control``.
         control: TCP endpoint for messages between processes.
+        cluster: Name of the control VMs' cluster.
         packets: UDP endpoint for packets, entry only.
         fabric: UDP endpoint packets leave by, entry only.
         http: HTTPS endpoint for announcements, entry only.
@@ -78,6 +79,7 @@
     region: str
     role: str
     control: Endpoint
+    cluster: str = "kumquatmux"
     packets: Endpoint | None = None
     fabric: Endpoint | None = None
     http: Endpoint | None = None
@@ -238,9 +240,9 @@
             path = fields.get(option.name)
             if not isinstance(option, File) or path is None:
                 continue
-            if not path.exists():
+            if not path.exists() and option.must_exist:
                 self.problem("file-missing", option.name, f"{path} does not exist")
-            elif option.name in SECRET_FILES:
+            elif path.exists() and option.name in SECRET_FILES:
                 self.secrecy(option.name, path)
 
     def secrecy(self, name: str, path: Path) -> None:
--- a/libs/settings/src/kumquatmux_settings/node_schema.py
+++ b/libs/settings/src/kumquatmux_settings/node_schema.py
@@ -18,6 +18,7 @@
     Name("zone", None, "Availability zone it runs in."),
     Name("region", None, "Region of that zone."),
     Choice("role", None, ROLES, "Which daemon this file is for."),
+    Name("cluster", "kumquatmux", "Name of the control VMs' cluster."),
     Address(
         "packets", None, "UDP endpoint for packets from the fabric and from peers."
     ),
@@ -25,7 +26,7 @@
     Address("control", None, "TCP endpoint for messages between processes."),
     Address("http", None, "HTTPS endpoint where backend servers announce themselves."),
     Address("operators", None, "HTTPS endpoint of the operators' API."),
-    File("data_folder", None, "Folder on a disk for the replicated settings log."),
+    File("data_folder", None, "Folder on a disk for the settings log.", False),
     File("secret_key_file", None, "File with this process's CURVE secret key."),
     File("packet_key_file", None, "Key that entry VMs share for passed packets, hex."),
     File("tls_certificate_file", None, "Certificate of the HTTPS endpoints, PEM."),
--- a/libs/settings/src/kumquatmux_settings/options.py
+++ b/libs/settings/src/kumquatmux_settings/options.py
@@ -98,11 +98,15 @@
 
 
 class File(NamedTuple):
-    """A path, taken from the folder of the settings file where it is relative."""
+    """A path, taken from the folder of the settings file where it is relative.
+
+    ``must_exist`` tells whether it has to be there when the process starts.
+    """
 
     name: str
     default: str | None
     doc: str
+    must_exist: bool = True
 
 
 Option = (
