--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -5,7 +5,7 @@
 import math
 from typing import NamedTuple
 
-from kumquatmux_agreement.entries import Configuration, ReplicaId
+from kumquatmux_agreement.entries import Configuration, ReplicaId, Snapshot
 from kumquatmux_agreement.log import Log
 from kumquatmux_agreement.settings import ReplicaSettings
 
@@ -22,7 +22,7 @@
         round: Latest round it answered.
         confirmed: When that round was sent by the leader's clock, in seconds.
         heard_at: When it last answered, on the replica's steady clock.
-        snapshot_index: The snapshot being sent to it, -1 for none.
+        snapshot: The snapshot being sent to it, None for none.
         received: Bytes of it that have arrived.
         told_commit: Commit index it was last told.
     """
@@ -33,7 +33,7 @@
         self.round = 0
         self.confirmed = -math.inf
         self.heard_at = heard_at
-        self.snapshot_index = -1
+        self.snapshot: Snapshot | None = None
         self.received = 0
         self.told_commit = -1
 
@@ -149,6 +149,16 @@
         }
         return frozenset(heard | {self.settings.replica})
 
+    def oldest_sent(self, clock: float) -> int | None:
+        """Return the last entry of the oldest snapshot on its way to a live member."""
+        live = self.live(clock)
+        sent = [
+            progress.snapshot.log_index
+            for member, progress in self.progress.items()
+            if progress.snapshot is not None and member in live
+        ]
+        return min(sent, default=None)
+
     def joining_lately(self, clock: float) -> tuple[ReplicaId, ...]:
         """Return who asked to join lately, by name."""
         limit = clock - 3 * self.settings.join_period_s
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -18,6 +18,7 @@
     SnapshotChunk,
     SnapshotReply,
 )
+from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_core.problems import Problem
 
@@ -121,7 +122,7 @@
     """Send members the entries they lack, as far as the window allows."""
     for member, progress in leadership.progress.items():
         has_more = progress.next <= core.log.last_index
-        if has_more and progress.snapshot_index < 0 and _has_window(core, progress):
+        if has_more and progress.snapshot is None and _has_window(core, progress):
             _send_next(core, leadership, member, progress)
 
 
@@ -135,12 +136,14 @@
     if progress is None:
         return
     if message.is_matched:
-        progress.snapshot_index = -1
+        progress.snapshot = None
         progress.match = max(progress.match, message.log_index)
         progress.next = max(progress.next, progress.match + 1)
         advance_commit(core)
     else:
         hint = min(message.log_index, core.log.last_index + 1)
+        if message.round >= progress.round:
+            _note_lost_entries(progress, sender, hint)
         progress.next = max(progress.match + 1, hint)
         _send_next(core, leadership, sender, progress)
     if core.leadership is not leadership:
@@ -157,7 +160,9 @@
     if leadership is None or message.term != core.term:
         return
     progress = leadership.answered(message.sender, message.round, core.clock)
-    if progress is None or progress.snapshot_index != message.log_index:
+    if progress is None or progress.snapshot is None:
+        return
+    if progress.snapshot.log_index != message.log_index:
         return
     has_moved = message.received != progress.received
     progress.received = message.received
@@ -241,13 +246,19 @@
     return progress.match + 1 if progress.match else progress.next
 
 
+def _note_lost_entries(progress: Progress, member: ReplicaId, hint: int) -> None:
+    """Believe a member that no longer holds what it had acknowledged."""
+    if hint <= progress.match:
+        log_decision("agreement-entries-lost", member=member, after=hint - 1)
+        progress.match = hint - 1
+
+
 def _send_next(
     core: ReplicaCore, leadership: Leadership, member: ReplicaId, progress: Progress
 ) -> None:
-    if progress.next <= core.log.base_index:
+    if progress.snapshot is not None or progress.next <= core.log.base_index:
         _send_chunk(core, leadership, member, progress)
         return
-    progress.snapshot_index = -1
     previous = progress.next - 1
     previous_term = core.log.term_at(previous)
     if previous_term is None:
@@ -274,10 +285,10 @@
 def _send_chunk(
     core: ReplicaCore, leadership: Leadership, member: ReplicaId, progress: Progress
 ) -> None:
-    snapshot = core.log.snapshot
-    if progress.snapshot_index != snapshot.log_index:
-        progress.snapshot_index = snapshot.log_index
+    if progress.snapshot is None:
+        progress.snapshot = core.log.snapshot
         progress.received = 0
+    snapshot = progress.snapshot
     start = progress.received
     message = SnapshotChunk(
         core.settings.cluster,
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -41,6 +41,9 @@
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.problems import Problem
 
+KEPT_SNAPSHOTS = 16
+"""Compactions that entries outlast for a member that receives a snapshot."""
+
 
 class ReplicaStatus(NamedTuple):
     """What operators see of a replica.
@@ -198,7 +201,7 @@
             raise AssertionError(f"snapshot at {event.log_index} is not of this log")
         configuration = core.log.configuration_at(event.log_index)
         snapshot = Snapshot(event.log_index, term, configuration, event.data)
-        core.log.compact(snapshot, core.settings.keep_entries)
+        core.log.compact(snapshot, self._entries_to_keep(event.log_index))
         core.persist(snapshot=snapshot)
 
     @_on.register
@@ -253,6 +256,16 @@
         self.core.enter_term(message.term, None)
         return True
 
+    def _entries_to_keep(self, compacted: int) -> int:
+        """Keep what a member needs next that is still receiving a snapshot."""
+        settings = self.core.settings
+        leadership = self.core.leadership
+        oldest = leadership.oldest_sent(self.core.clock) if leadership else None
+        if oldest is None:
+            return settings.keep_entries
+        needed = min(compacted - oldest, KEPT_SNAPSHOTS * settings.snapshot_entries)
+        return max(settings.keep_entries, needed)
+
     def _ask_to_join(self) -> None:
         core = self.core
         core.join_at = core.clock + core.settings.join_period_s
--- /dev/null
+++ b/libs/lab/src/kumquatmux_lab/faultruns/__init__.py
@@ -0,0 +1,3 @@
+"""Seeded runs of the decision libraries under faults, with checked histories."""
+
+from __future__ import annotations
