--- a/libs/settings/src/kumquatmux_settings/schema.py
+++ b/libs/settings/src/kumquatmux_settings/schema.py
@@ -103,23 +103,47 @@
 
 FLOWS = Section(
     "flows",
-    "Records of open flows.",
+    "Records of open flows, on the VMs of an availability zone.",
     (
-        Whole("tcp_idle_s", 86_400, 60, 604_800, "s", "Idle time of a TCP flow."),
-        Whole("udp_idle_s", 120, 1, 86_400, "s", "Idle time of a UDP flow."),
-        Whole("quarantine_s", 60, 1, 600, "s", "Rest of a key after its flow closed."),
-        Whole("table_limit", 500_000, 1000, 10_000_000, "", "Records on one VM."),
-        Whole("probe_interval_s", 5, 1, 3600, "s", "Time between probes."),
+        Whole("flow_limit", 400_000, 1000, 10_000_000, "", "Flows kept on one VM."),
+        Fraction(
+            "established_seconds",
+            14_400.0,
+            60.0,
+            604_800.0,
+            "s",
+            "Idle time after which an open TCP flow is dropped.",
+        ),
+        Fraction(
+            "closing_seconds", 120.0, 1.0, 3600.0, "s", "The same, half-closed flows."
+        ),
+        Fraction(
+            "half_open_seconds", 30.0, 1.0, 600.0, "s", "The same, open handshakes."
+        ),
+        Fraction("datagram_seconds", 30.0, 1.0, 86_400.0, "s", "The same, UDP flows."),
+        Fraction(
+            "quarantine_seconds", 10.0, 1.0, 600.0, "s", "Rest of a key after closing."
+        ),
+        Fraction(
+            "probe_idle_seconds", 60.0, 1.0, 86_400.0, "s", "Idle time until a probe."
+        ),
+        Fraction(
+            "probe_interval_seconds", 10.0, 1.0, 3600.0, "s", "Time between probes."
+        ),
+        Whole("probe_limit", 4, 1, 100, "", "Unanswered probes of a silent flow."),
+        Fraction(
+            "silent_seconds", 6.0, 1.0, 600.0, "s", "Time without progress: silent."
+        ),
     ),
 )
 
 MEMBERSHIP = Section(
     "membership",
-    "Failure detection among the system's VMs.",
+    "Failure detection among the entry VMs of an availability zone and their peers.",
     (
-        Whole("heartbeat_ms", 500, 50, 10_000, "ms", "Time between heartbeats."),
-        Whole("suspect_ms", 1500, 100, 60_000, "ms", "Silence until suspicion."),
-        Whole("remove_ms", 2500, 200, 120_000, "ms", "Silence until removal."),
+        Fraction("heartbeat_seconds", 0.5, 0.05, 10.0, "s", "Time between heartbeats."),
+        Fraction("suspect_seconds", 1.5, 0.1, 60.0, "s", "Silence until probes."),
+        Fraction("remove_seconds", 2.5, 0.2, 120.0, "s", "Silence until removal."),
     ),
 )
 
@@ -127,8 +151,11 @@
     "leases",
     "Announcements of backend servers.",
     (
-        Whole("lease_ms", 4000, 2000, 60_000, "ms", "Life of a lease not renewed."),
-        Whole("echo_fresh_ms", 2500, 200, 2500, "ms", "Age of an echo that confirms."),
+        Fraction("renew_seconds", 1.0, 0.1, 60.0, "s", "Time between renewals."),
+        Fraction("lease_seconds", 4.0, 0.5, 300.0, "s", "How long a lease runs."),
+        Fraction(
+            "stale_seconds", 2.5, 0.5, 2.5, "s", "Silence of a holder: no new work."
+        ),
     ),
 )
 
@@ -146,6 +173,7 @@
 
 ORDERED = (
     Ordered("placement", "shed_backoff_ms", "shed_backoff_limit_ms"),
-    Ordered("membership", "heartbeat_ms", "suspect_ms"),
-    Ordered("membership", "suspect_ms", "remove_ms"),
+    Ordered("membership", "heartbeat_seconds", "suspect_seconds"),
+    Ordered("membership", "suspect_seconds", "remove_seconds"),
+    Ordered("leases", "renew_seconds", "lease_seconds"),
 )
--- a/libs/settings/tests/test_validate.py
+++ b/libs/settings/tests/test_validate.py
@@ -32,7 +32,7 @@
     ("defaults.nothing.hold_ms", "1", "unknown-key"),
     ("placement.hold_ms", "1", "unknown-key"),
     ("zones.CNX.placement.hold_ms", "1", "unknown-key"),
-    ("services.entries.flows.table_limit", "5000", "unknown-key"),
+    ("services.entries.flows.flow_limit", "5000", "unknown-key"),
     ("zones.lpg-a.placement.hold_ms", "1", "unknown-zone"),
     ("services.entries.zones", '["lpg-a"]', "unknown-zone"),
     ("defaults.traffic.server_zones", '["lpg-a"]', "unknown-zone"),
@@ -40,8 +40,8 @@
     ("zones.cnx-a.services.ledger.placement.hold_ms", "1", "unknown-service"),
     ("services.entries.announce_token_hashes", "[]", "token-missing"),
     ("services.pagesetter.address", '"10.1.0.1:80"', "address-shared"),
-    ("defaults.membership.heartbeat_ms", "3000", "order"),
-    ("zones.cnx-a.membership.remove_ms", "1000", "order"),
+    ("defaults.membership.heartbeat_seconds", "2", "order"),
+    ("zones.cnx-a.membership.remove_seconds", "1", "order"),
 ]
 
 
