Bring traffic rules and engine settings into force on entry VMs

Entry VMs only heeded placement settings: a closed service, caller networks and server zones had no effect, nor had the tree's flow, membership and lease options. New flows now pass a gate, server zones filter what placement sees, and engines take settings at run time.

The age at which a holder's leases go stale stays out of the tree: the 3 s promise for leaving servers rests on it.

--- a/libs/daemons/src/kumquatmux_daemons/entry/admission_desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/admission_desk.py
@@ -5,8 +5,10 @@
 import random
 from functools import singledispatch
 
+from kumquatmux_core.decisions import log
 from kumquatmux_core.identity import Address, Endpoint, FlowKey, ServerId, ServiceName
 from kumquatmux_daemons.entry.directory import ServiceServers, server_id
+from kumquatmux_daemons.entry.traffic import Gate
 from kumquatmux_flows import events as flows
 from kumquatmux_placement import events as placement
 from kumquatmux_placement.admission import Admission
@@ -25,6 +27,7 @@
         admissions: Admission by service, each with the settings in force for it.
         digests: What the placer of each service last told this VM as its backup.
         owned: Services whose placer this VM is.
+        gates: Traffic rules by service.
     """
 
     def __init__(self, random: random.Random) -> None:
@@ -32,6 +35,7 @@
         self.admissions: dict[ServiceName, Admission] = {}
         self.digests: dict[ServiceName, tuple[placement.SlotDigest, ...]] = {}
         self.owned: frozenset[ServiceName] = frozenset()
+        self.gates: dict[ServiceName, Gate] = {}
 
     def use_settings(self, service: ServiceName, settings: PlacementSettings) -> None:
         """Bring placement settings into force for a service."""
@@ -41,6 +45,10 @@
         else:
             admission.use_settings(settings)
 
+    def use_gates(self, gates: dict[ServiceName, Gate]) -> None:
+        """Bring traffic rules into force for new flows."""
+        self.gates = gates
+
     def use_servers(self, change: ServiceServers, now: float) -> list[FlowAnswer]:
         """Tell admission the backend servers of a service."""
         admission = self.admissions.get(change.service)
@@ -72,6 +80,10 @@
         if admission is None:
             return [flows.FlowRefused(key, "unknown-service")]
         caller = ".".join(str(byte) for byte in key[1:5])
+        refusal = self.gates.get(service, Gate()).refusal(caller)
+        if refusal is not None:
+            log("traffic-refused", service=service, caller=caller, reason=refusal)
+            return [flows.FlowRefused(key, refusal)]
         work = placement.Work(bytes(key), service, caller, now)
         return self.translate(admission.handle(placement.Submit(work), now))
 
--- a/libs/daemons/src/kumquatmux_daemons/entry/directory.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/directory.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import Address, ServerId, ServiceName
+from kumquatmux_daemons.entry.traffic import Gate
 from kumquatmux_flows.events import RoutesChanged, ServerRoute, ServiceRoute
 from kumquatmux_membership.events import Lease, ServersChanged
 from kumquatmux_placement import events as placement
@@ -31,6 +32,7 @@
         services: Services by name.
         by_target: Services by protocol and address, 7 bytes, as in a caller's packet.
         service_by_server: Service of each server address, 6 bytes.
+        gates: Traffic rules by service.
     """
 
     def __init__(self) -> None:
@@ -40,6 +42,7 @@
         self.service_by_server: dict[bytes, ServiceRoute] = {}
         self.leases: ServersChanged = ServersChanged((), ())
         self.since: dict[ServerId, float] = {}
+        self.gates: dict[ServiceName, Gate] = {}
 
     def use_services(self, revision: int, services: tuple[Service, ...]) -> None:
         """Take the services of a settings revision into force."""
@@ -49,6 +52,10 @@
         self.by_target = {_target(route): route for route in routes}
         self._learn_servers()
 
+    def use_gates(self, gates: dict[ServiceName, Gate]) -> None:
+        """Take the traffic rules of a settings revision into force."""
+        self.gates = gates
+
     def use_leases(self, leases: ServersChanged, now: float) -> None:
         """Take the backend servers known now."""
         self.leases = leases
@@ -80,11 +87,14 @@
 
     def _servers_of(self, service: ServiceName) -> list[placement.Server]:
         zones = self.services[service].zones
+        gate = self.gates.get(service, Gate())
         stale = {lease.server for lease in self.leases.stale}
         return [
             self._server(lease, is_stale=lease.server in stale)
             for lease in self._usable()
-            if lease.service == service and (not zones or lease.zone in zones)
+            if lease.service == service
+            and (not zones or lease.zone in zones)
+            and gate.uses(lease.zone)
         ]
 
     def _server(self, lease: Lease, *, is_stale: bool) -> placement.Server:
--- a/libs/daemons/src/kumquatmux_daemons/entry/node.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/node.py
@@ -15,6 +15,7 @@
 from kumquatmux_daemons.entry.forwarder import Forwarder
 from kumquatmux_daemons.entry.port import PacketPort
 from kumquatmux_daemons.entry.report import vm_report
+from kumquatmux_daemons.entry.traffic import Gate, gate_of
 from kumquatmux_daemons.reports import DrainAnswer, DrainRequest, ReportRequest
 from kumquatmux_daemons.transport.links import Delivery, PeerLinks
 from kumquatmux_daemons.transport.registry import PlacerDigest
@@ -36,7 +37,7 @@
     Snapshot,
 )
 from kumquatmux_settings.messages import Message as SettingsMessage
-from kumquatmux_settings.tree import resolve, services
+from kumquatmux_settings.tree import Service, resolve, services, traffic_rules
 
 DIGEST_PERIOD_S = 0.25
 FAILURES_KEPT = 10
@@ -264,6 +265,10 @@
         self.coordinator.note_settings(action.revision, action.digest)
         in_force = services(self.copy.values)
         self.directory.use_services(action.revision, in_force)
+        self.use_engine_settings()
+        gates = {each.service: self.gate(each) for each in in_force}
+        self.directory.use_gates(gates)
+        self.desk.use_gates(gates)
         for service in in_force:
             placement = resolve(
                 self.copy.values,
@@ -276,6 +281,20 @@
         self.spread_servers(now)
         self.desk.take_over(self.owned(), now)
 
+    def gate(self, service: Service) -> Gate:
+        """Return the traffic rules of a service on this VM."""
+        rules = traffic_rules(self.copy.values, self.zone, service.service)
+        return gate_of(service, rules)
+
+    def use_engine_settings(self) -> None:
+        """Bring this zone's settings into force in the engines, as they run."""
+        values, zone = self.copy.values, self.zone
+        self.engine.use_settings(resolve(values, "flows", FlowSettings(), zone))
+        self.coordinator.use_settings(
+            resolve(values, "membership", MembershipSettings(), zone),
+            resolve(values, "leases", LeaseSettings(), zone),
+        )
+
     def spread_servers(self, now: float) -> None:
         """Tell the engines which services and servers there are."""
         self.forwarder.run(self.directory.routes(), now)
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -70,6 +70,11 @@
         self.owned: list[bool] = []
         self.backups: list[int] = []
 
+    def use_settings(self, settings: FlowSettings) -> None:
+        """Bring other settings into force; open flows go on under them."""
+        self.settings = settings
+        self.state.settings = settings
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Return what an event at a time, in seconds, asks for."""
         self.apply(event, now)
--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -46,6 +46,13 @@
         """Reading of the clock from which fresh servers need a ``Tick`` first."""
         return self.clock.reading(self.leases.valid_until)
 
+    def use_settings(
+        self, membership: MembershipSettings, leases: LeaseSettings
+    ) -> None:
+        """Bring other periods and timeouts into force at run time."""
+        self.membership.settings = membership
+        self.leases.use_settings(leases)
+
     def note_settings(self, revision: int, digest: str) -> None:
         """Take the settings revision and digest that heartbeats carry."""
         self.membership.note_settings(revision, digest)
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -82,6 +82,12 @@
         """Time from which the last ``ServersChanged`` may be wrong, in seconds."""
         return min(self.freshness.valid_until, self.holder.next_expiry)
 
+    def use_settings(self, settings: LeaseSettings) -> None:
+        """Bring other periods into force; leases that run keep their end."""
+        self.settings = settings
+        for part in (self.known, self.notices, self.freshness):
+            part.settings = settings
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event and return what is to be done.
 
--- a/libs/settings/src/kumquatmux_settings/schema.py
+++ b/libs/settings/src/kumquatmux_settings/schema.py
@@ -153,9 +153,6 @@
     (
         Fraction("renew_seconds", 1.0, 0.1, 60.0, "s", "Time between renewals."),
         Fraction("lease_seconds", 4.0, 0.5, 300.0, "s", "How long a lease runs."),
-        Fraction(
-            "stale_seconds", 2.5, 0.5, 2.5, "s", "Silence of a holder: no new work."
-        ),
     ),
 )
 
