--- a/libs/daemons/src/kumquatmux_daemons/entry/directory.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/directory.py
@@ -69,7 +69,7 @@
             revision=self.revision,
             services=tuple(self.by_target.values()),
             servers=tuple(
-                ServerRoute(lease.endpoint.packed, lease.service)
+                ServerRoute(lease.endpoint.packed, lease.service, lease.zone)
                 for lease in self._usable()
             ),
         )
--- a/libs/daemons/src/kumquatmux_daemons/entry/forwarder.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/forwarder.py
@@ -24,6 +24,7 @@
 TCP_PACKET_BYTES = 40
 LOG_EVERY_S = 5
 LONGEST_PATH = 32
+REPLY_STAGES = (flows.Stage.REPLY_TO_OWNER, flows.Stage.REPLY_CLOSE)
 PACKET_EVENTS = (flows.CallerPacket, flows.ServerPacket, flows.PeerPacket)
 
 
@@ -206,7 +207,7 @@
 
     def passed_key(self, passing: flows.Passing, packet: bytes) -> FlowKey | None:
         """Return the flow key of a passed packet, seen from its caller's side."""
-        if passing.stage != flows.Stage.REPLY_TO_OWNER:
+        if passing.stage not in REPLY_STAGES:
             return reading.caller_key(packet)
         route = self.directory.service_by_server.get(reading.source_address(packet))
         if route is None:
--- a/libs/daemons/src/kumquatmux_daemons/transport/registry.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/registry.py
@@ -8,7 +8,7 @@
 from kumquatmux_core.codec import Registry, registry
 from kumquatmux_core.identity import ServiceName
 from kumquatmux_daemons.reports import MESSAGE_TYPES as REPORT_MESSAGES
-from kumquatmux_flows.messages import BatchStored, RecordBatch
+from kumquatmux_flows.messages import MESSAGE_TYPES as FLOW_MESSAGES
 from kumquatmux_membership.wire import MESSAGE_KINDS as MEMBERSHIP_MESSAGES
 from kumquatmux_placement.events import SlotDigest
 from kumquatmux_settings.messages import MESSAGE_TYPES as SETTINGS_MESSAGES
@@ -26,7 +26,6 @@
     servers: tuple[SlotDigest, ...]
 
 
-FLOW_MESSAGES: dict[int, type] = {0x0101: RecordBatch, 0x0102: BatchStored}
 PLACEMENT_MESSAGES: dict[int, type] = {0x0501: PlacerDigest}
 
 
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -18,10 +18,13 @@
     Stage,
 )
 from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.routes import place_of
+from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState, Grace, Pending
 from kumquatmux_flows.table import (
     NO_VM,
     SEQUENCE_MASK,
+    WAS_RESET,
     FlowStatus,
     Mark,
     Role,
@@ -45,8 +48,9 @@
 class CallerPath:
     """Places new flows, forwards open ones and looks for lost records."""
 
-    def __init__(self, state: FlowState) -> None:
+    def __init__(self, state: FlowState, silence: Silence) -> None:
         self.state = state
+        self.silence = silence
 
     def take(self, segment: Segment, now: float) -> None:
         """Handle a caller's packet as the owner of its flow."""
@@ -202,6 +206,8 @@
         if state.quarantined(slot, now):
             if starts:
                 state.drop(Refusal.QUARANTINED)
+            elif state.table.strikes[slot] == WAS_RESET:
+                self.reset_again(segment)
             else:
                 state.to_server(slot, segment)
             return
@@ -212,6 +218,13 @@
         else:
             self.look_up(segment, now)
 
+    def reset_again(self, segment: Segment) -> None:
+        """Repeat a reset that the caller did not take, now with its own numbers."""
+        if segment.flags & FLAG_RST:
+            self.state.drop(Refusal.SILENT)
+            return
+        self.state.out.append(ResetCaller(segment, Refusal.SILENT))
+
     def contradicts(self, slot: int, segment: Segment) -> bool:
         """Return whether a packet shows that its handshake was with another server."""
         table = self.state.table
@@ -230,6 +243,8 @@
         table = state.table
         table.caller_times[slot] = now
         self.track(slot, segment, now)
+        if table.statuses[slot] == FlowStatus.CLOSED:
+            return
         if segment.flags & LIFECYCLE_FLAGS or not self.copy_ready(slot, now):
             self.by_backup(slot, segment, now)
         else:
@@ -249,8 +264,10 @@
 
     def backup_of(self, slot: int) -> VmId | None:
         """Return the VM that should hold the second copy."""
-        place = self.state.routes.places[self.state.table.services[slot]]
-        return self.state.ranking.backup(place)
+        routes = self.state.routes
+        place = routes.places[self.state.table.services[slot]]
+        zone = routes.zones[self.state.table.servers[slot]]
+        return self.state.ranking.backup(place, zone)
 
     def backup_number(self, slot: int) -> int:
         """Return the small number of the VM that should hold the second copy."""
@@ -308,21 +325,12 @@
         seen = table.marks[slot] & Mark.CALLER_SEEN
         table.marks[slot] &= ~Mark.PROVISIONAL & 0xFF
         if segment.is_tcp and seen and not is_after(end, table.caller_nexts[slot]):
-            self.strike(slot, now)
+            self.silence.retransmitted(slot, segment, now)
             return
         table.caller_nexts[slot] = end
         table.marks[slot] |= Mark.CALLER_SEEN
         self.state.start_work(slot)
 
-    def strike(self, slot: int, now: float) -> None:
-        """Note one retransmission without progress."""
-        table = self.state.table
-        first = table.strike_times[slot]
-        if table.strikes[slot] == 0 or table.reply_times[slot] > first:
-            table.strikes[slot] = 0
-            table.strike_times[slot] = now
-        table.strikes[slot] = min(table.strikes[slot] + 1, 255)
-
     def track_end(self, slot: int, segment: Segment, now: float) -> None:
         """Follow the end of a flow, or find that it went silent."""
         state = self.state
@@ -332,8 +340,6 @@
         elif segment.flags & FLAG_FIN:
             table.marks[slot] |= Mark.CALLER_FIN
             self.closing(slot, now)
-        elif self.is_silent(slot, now):
-            self.reset_silent(slot, segment, now)
 
     def closing(self, slot: int, now: float) -> None:
         """Follow a FIN: the second one ends the flow."""
@@ -344,28 +350,6 @@
         elif table.statuses[slot] != FlowStatus.CLOSED:
             table.statuses[slot] = FlowStatus.CLOSING
 
-    def is_silent(self, slot: int, now: float) -> bool:
-        """Return whether the server ignores this flow while it answers others."""
-        table = self.state.table
-        settings = self.state.settings
-        if table.strikes[slot] < settings.silent_retransmits:
-            return False
-        first = table.strike_times[slot]
-        if table.reply_times[slot] >= first:
-            return False
-        heard = self.state.routes.heard[table.servers[slot]]
-        return now - first >= settings.silent_seconds and heard > first
-
-    def reset_silent(self, slot: int, segment: Segment, now: float) -> None:
-        """Reset both ends of a silent flow, so that the caller connects again."""
-        state = self.state
-        key = segment.key
-        server = state.address_of(slot)
-        seq = state.table.caller_nexts[slot]
-        state.out.append(ResetServer(key, server, seq))
-        state.out.append(ResetCaller(segment, Refusal.SILENT))
-        state.close(slot, Refusal.SILENT, now)
-
     def look_up(self, segment: Segment, now: float) -> None:
         """Send a packet in search of its record, or decide without."""
         target = self.lookup_target(segment.key, 0, self.state.vm)
@@ -380,8 +364,7 @@
         state = self.state
         if hops >= state.settings.lookup_hops:
             return None
-        ranked = state.ranking.rank(key[0:1] + key[5:9] + key[11:13])
-        others = [vm for vm in ranked if vm != origin]
+        others = state.ranking.search_order(place_of(key), origin)
         for vm in others[hops:]:
             if vm != state.vm:
                 return vm
@@ -400,11 +383,40 @@
             self.place_after_search(segment, now)
         elif segment.flags & FLAG_RST:
             state.drop(Refusal.FLOW_UNKNOWN)
-        elif now - state.ranking.changed < state.settings.settle_seconds:
+        elif self.unsettled(now) or not self.missed_twice(segment, now):
             state.drop(Refusal.UNSETTLED)
         else:
             state.refuse(segment, Refusal.FLOW_UNKNOWN)
 
+    def unsettled(self, now: float) -> bool:
+        """Return whether a record may still turn up: never reset a flow too early."""
+        settings = self.state.settings
+        ranking = self.state.ranking
+        if now - ranking.changed < settings.settle_seconds:
+            return True
+        window = max(settings.cut_hold_seconds, settings.datagram_seconds)
+        if ranking.lost_lately(window, now) < COPIES:
+            return False
+        return now - ranking.losses[-1] < settings.cut_hold_seconds
+
+    def missed_twice(self, segment: Segment, now: float) -> bool:
+        """Return whether a flow was missing before, some time ago.
+
+        A record that only a disagreement of views hides turns up in between.
+        """
+        settings = self.state.settings
+        missed = self.state.missed
+        first = missed.get(segment.key)
+        if first is None or now - first > settings.half_open_seconds:
+            if len(missed) >= settings.pending_limit:
+                missed.clear()
+            missed[segment.key] = now
+            return False
+        if now - first < settings.settle_seconds:
+            return False
+        del missed[segment.key]
+        return True
+
     def after_search(self, slot: int, segment: Segment, now: float) -> None:
         """Go on with this VM's record after a search found no better one."""
         if self.contradicts(slot, segment):
@@ -500,7 +512,7 @@
         key = state.table.keys[slot]
         was_open = state.table.statuses[slot] != FlowStatus.CLOSED
         if key is not None and was_open and state.permits(slot):
-            seq = state.table.caller_nexts[slot]
+            seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.address_of(slot), seq))
         state.forget(slot, Refusal.CONFLICT, now)
 
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -5,7 +5,7 @@
 import random
 from functools import singledispatchmethod
 
-from kumquatmux_core.identity import FlowKey, VmId
+from kumquatmux_core.identity import FlowKey, VmId, ZoneName
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
 from kumquatmux_flows.callers import NEAR_BYTES, CallerPath
 from kumquatmux_flows.events import (
@@ -30,6 +30,7 @@
 from kumquatmux_flows.peers import PeerPath
 from kumquatmux_flows.replies import ReplyPath
 from kumquatmux_flows.settings import FlowSettings
+from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.sweep import Sweep
 from kumquatmux_flows.table import (
@@ -63,12 +64,13 @@
         self.vm = vm
         self.settings = settings
         self.state = FlowState(vm, settings, random)
-        self.callers = CallerPath(self.state)
-        self.replies = ReplyPath(self.state, self.callers)
+        self.silence = Silence(self.state)
+        self.callers = CallerPath(self.state, self.silence)
+        self.replies = ReplyPath(self.state, self.callers, self.silence)
         self.peers = PeerPath(self.state, self.callers, self.replies)
-        self.sweep = Sweep(self.state, self.callers)
+        self.sweep = Sweep(self.state, self.callers, self.silence)
         self.owned: list[bool] = []
-        self.backups: list[int] = []
+        self.backups: list[dict[str, int]] = []
 
     def use_settings(self, settings: FlowSettings) -> None:
         """Bring other settings into force; open flows go on under them."""
@@ -129,6 +131,8 @@
     @apply.register
     def _(self, event: RoutesChanged, now: float) -> None:
         self.state.routes.change(event)
+        self.owned = []
+        self.backups = []
 
     @apply.register
     def _(self, event: FlowPlaced, now: float) -> None:
@@ -171,7 +175,13 @@
         places = self.state.routes.places
         for place in places[len(self.owned) :]:
             self.owned.append(ranking.owns(place))
-            self.backups.append(ranking.number(ranking.backup(place)))
+            self.backups.append(self.backups_of(place))
+
+    def backups_of(self, place: bytes) -> dict[str, int]:
+        """Return the number of the backup for each zone of servers."""
+        ranking = self.state.ranking
+        zones = {ZoneName(""), *ranking.zones.values(), *self.state.routes.zones}
+        return {zone: ranking.number(ranking.backup(place, zone)) for zone in zones}
 
     def route_caller(
         self,
@@ -209,7 +219,7 @@
         if not self.owned[service]:
             return None
         marks = table.marks[slot]
-        backup = self.backups[service]
+        backup = self.backups[service][routes.zones[server]]
         if backup != NO_VM:
             if table.copies[slot] != backup or not marks & CONFIRMED:
                 return None
@@ -270,31 +280,26 @@
         service = table.services[slot]
         if routes.announced[number] != routes.names[service]:
             return False
-        end = (seq + payload_length) & SEQUENCE_MASK
         if table.roles[slot] != OWNER:
-            if not payload_length or not flags or ack != table.caller_nexts[slot]:
+            if not payload_length or not flags or ack != table.server_acks[slot]:
                 return False
+            table.server_nexts[slot] = (seq + payload_length) & SEQUENCE_MASK
         elif not self.owned[service]:
             return False
-        elif not self.count_reply(slot, ack, payload_length):
+        elif not self.count_reply(slot, ack, payload_length, now):
             return False
-        if flags and 0 < (end - table.server_nexts[slot]) & SEQUENCE_MASK < (
-            SEQUENCE_HALF
-        ):
-            table.server_nexts[slot] = end
         table.reply_times[slot] = now
-        routes.heard[number] = now
         state.last_packet = now
         return True
 
-    def count_reply(self, slot: int, ack: int, payload_length: int) -> bool:
+    def count_reply(self, slot: int, ack: int, payload_length: int, now: float) -> bool:
         """Count a reply at the owner; return False if the slow path has to see it."""
         table = self.state.table
         marks = table.marks[slot]
         if not marks & CONFIRMED and table.copies[slot] != NO_VM:
             return False
+        if table.strikes[slot] or marks & WORKING or ack != table.server_acks[slot]:
+            self.silence.answered(slot, ack, now)
         if payload_length and marks & WORKING:
             self.state.answer_work(slot)
-        if table.strikes[slot]:
-            table.strikes[slot] = 0
         return True
--- a/libs/flows/src/kumquatmux_flows/events.py
+++ b/libs/flows/src/kumquatmux_flows/events.py
@@ -5,7 +5,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from kumquatmux_core.identity import Address, FlowKey, ServiceName, Vm, VmId
+from kumquatmux_core.identity import Address, FlowKey, ServiceName, Vm, VmId, ZoneName
 from kumquatmux_core.segments import Segment
 from kumquatmux_flows.messages import FlowMessage
 from kumquatmux_flows.refusals import Refusal
@@ -117,10 +117,17 @@
 
 
 class ServerRoute(NamedTuple):
-    """One backend server and the one service it may get packets of."""
+    """One backend server and the one service it may get packets of.
+
+    Attributes:
+        server: Its address.
+        service: The service it serves.
+        zone: Its availability zone; one VM of it keeps a record of each flow there.
+    """
 
     server: Address
     service: ServiceName
+    zone: ZoneName = ZoneName("")
 
 
 class RoutesChanged(NamedTuple):
--- a/libs/flows/src/kumquatmux_flows/messages.py
+++ b/libs/flows/src/kumquatmux_flows/messages.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from kumquatmux_core.codec import Registry, registry
+from kumquatmux_core.codec import registry
 from kumquatmux_core.identity import Address, FlowKey, ServiceName
 
 
@@ -19,8 +19,8 @@
         epoch: How often its key has been placed.
         status: A ``FlowStatus`` as a number.
         idle: Seconds since its last packet at the sender.
-        caller_next: Next sequence number of the caller, 0 if unknown.
-        server_next: Next sequence number of the server, 0 if unknown.
+        server_ack: What the server last acknowledged, 0 if unknown.
+        caller_ack: What the caller last acknowledged, 0 if unknown.
     """
 
     key: FlowKey
@@ -30,8 +30,8 @@
     epoch: int
     status: int
     idle: int
-    caller_next: int = 0
-    server_next: int = 0
+    server_ack: int = 0
+    caller_ack: int = 0
 
 
 class RecordBatch(NamedTuple):
@@ -50,4 +50,7 @@
 
 FlowMessage = RecordBatch | BatchStored
 
-FLOW_MESSAGES: Registry = registry({1: RecordBatch, 2: BatchStored})
+MESSAGE_TYPES: dict[int, type] = {0x0401: RecordBatch, 0x0402: BatchStored}
+"""Message types by kind, to be merged into the registry of a channel."""
+
+FLOW_MESSAGES = registry(MESSAGE_TYPES)
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from kumquatmux_core import rendezvous
-from kumquatmux_core.identity import FlowKey, VmId
+from kumquatmux_core.identity import FlowKey, VmId, ZoneName
 from kumquatmux_flows.events import ViewChanged
 from kumquatmux_flows.routes import place_of
 from kumquatmux_flows.table import NO_VM
 
+NO_ZONE = ZoneName("")
+
 
 class Ranking:
     """The live VMs in order, for each service address.
@@ -26,6 +28,8 @@
         self.ranks: dict[bytes, list[VmId]] = {}
         self.numbers: dict[tuple[VmId, int], int] = {}
         self.incarnations: dict[VmId, int] = {}
+        self.zones: dict[VmId, ZoneName] = {}
+        self.owner_changes: dict[bytes, float] = {}
         self.leaving = False
 
     def change(self, view: ViewChanged, now: float) -> None:
@@ -33,6 +37,7 @@
         names = tuple(sorted(vm.vm for vm in view.live))
         self.losses.extend(now for _ in view.lost)
         self.incarnations = {vm.vm: vm.incarnation for vm in view.live}
+        self.zones = {vm.vm: vm.zone for vm in view.live}
         self.set_live(names, now)
 
     def leave(self, now: float) -> None:
@@ -46,9 +51,13 @@
             names = tuple(name for name in names if name != self.vm)
         if names == self.live:
             return
+        before = self.ranks
         self.live = names
         self.changed = now
         self.ranks = {}
+        for place, ranked in before.items():
+            if self.rank(place)[:1] != ranked[:1]:
+                self.owner_changes[place] = now
 
     def rank(self, place: bytes) -> list[VmId]:
         """Return the VMs for a service address, its owner first."""
@@ -68,12 +77,27 @@
         ranked = self.rank(place)
         return bool(ranked) and ranked[0] == self.vm
 
-    def backup(self, place: bytes) -> VmId | None:
-        """Return the VM that holds the second copies, as this one sees it."""
-        for name in self.rank(place)[:2]:
-            if name != self.vm:
-                return name
-        return None
+    def backup(self, place: bytes, zone: ZoneName = NO_ZONE) -> VmId | None:
+        """Return the VM that keeps the second copies of flows to a zone's servers.
+
+        It is the next of the ranking, who would be the next owner. Where this VM is
+        not in the server's availability zone, it is the first VM of that zone: then
+        a zone that is cut off has the records of its own servers' flows.
+        """
+        others = [name for name in self.rank(place) if name != self.vm]
+        if zone and self.zones.get(self.vm) != zone:
+            for name in others:
+                if self.zones.get(name) == zone:
+                    return name
+        return others[0] if others else None
+
+    def search_order(self, place: bytes, origin: VmId) -> list[VmId]:
+        """Return the VMs a search visits: the likely backups first."""
+        ranked = [name for name in self.rank(place) if name != origin]
+        first_of_zone: dict[ZoneName, VmId] = {}
+        for name in ranked:
+            first_of_zone.setdefault(self.zones.get(name, ZoneName("")), name)
+        return list(dict.fromkeys([*ranked[:1], *first_of_zone.values(), *ranked]))
 
     def number(self, name: VmId | None) -> int:
         """Return the small number of one incarnation of a VM, ``NO_VM`` for none."""
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -9,6 +9,7 @@
 from kumquatmux_flows.callers import CallerPath, end_of
 from kumquatmux_flows.events import Binding, Passing, SendToCaller, SendToPeer, Stage
 from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import FlowStatus, Mark, Role, is_after
 
@@ -19,8 +20,9 @@
 class ReplyPath:
     """Learns flows from replies and lets the owner see the first answers."""
 
-    def __init__(self, state: FlowState, callers: CallerPath) -> None:
+    def __init__(self, state: FlowState, callers: CallerPath, silence: Silence) -> None:
         self.state = state
+        self.silence = silence
         self.callers = callers
 
     def arrive(self, segment: Segment, server: Address, now: float) -> None:
@@ -43,7 +45,7 @@
         """
         state = self.state
         table = state.table
-        number = self.note_heard(segment, server, now)
+        number = self.number_of(segment, server)
         slot = table.slots.get(segment.key)
         if slot is None:
             self.add_learned(segment, number, now)
@@ -56,15 +58,14 @@
             self.note_reply(slot, segment, now)
         return True
 
-    def note_heard(self, segment: Segment, server: Address, now: float) -> int:
-        """Remember that a server lives, and return its number."""
+    def number_of(self, segment: Segment, server: Address) -> int:
+        """Return the number of the server a reply is from."""
         routes = self.state.routes
         number = routes.servers.get(server)
         if number is None:
             service = self.state.service_of(segment.key)
             name = "" if service is None else routes.names[service]
             number = routes.server(server, name)  # type: ignore[arg-type]
-        routes.heard[number] = now
         return number
 
     def add_learned(self, segment: Segment, number: int, now: float) -> None:
@@ -109,7 +110,7 @@
             return
         self.advance(slot, segment)
         if segment.flags & FLAG_ACK and table.roles[slot] != Role.OWNER:
-            table.caller_nexts[slot] = segment.ack
+            table.server_acks[slot] = segment.ack
         opening = segment.flags & (FLAG_SYN | FLAG_RST)
         if not opening and table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = FlowStatus.ESTABLISHED
@@ -129,7 +130,7 @@
         """Handle a reply as the owner of its flow."""
         state = self.state
         table = state.table
-        number = self.note_heard(segment, server, now)
+        number = self.number_of(segment, server)
         slot = table.slots.get(segment.key)
         if slot is None or table.roles[slot] == Role.LEARNED:
             self.without_record(segment, server, now)
@@ -161,9 +162,10 @@
         state = self.state
         table = state.table
         table.reply_times[slot] = now
-        table.strikes[slot] = 0
-        if segment.is_tcp:
+        if not table.marks[slot] & Mark.SERVER_SEEN and segment.is_tcp:
             self.advance(slot, segment)
+        if segment.flags & FLAG_ACK:
+            self.silence.answered(slot, segment.ack, now)
         if segment.flags & FLAG_ACK or not segment.is_tcp:
             self.callers.confirm_copy(slot, segment.ack)
         if segment.payload_length:
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from kumquatmux_core.identity import Address, FlowKey, ServiceName
+from kumquatmux_core.identity import Address, FlowKey, ServiceName, ZoneName
 from kumquatmux_flows.events import RoutesChanged
 
 UNKNOWN_REVISION = -1
@@ -26,7 +26,9 @@
         addresses: Address of each server number.
         announced: Name each server number last announced itself for.
         in_force: Server numbers that may get new flows.
-        heard: When each server number last sent a packet, in seconds.
+        zones: Availability zone of each server number, empty if unknown.
+        answered: When each server number last answered a packet that this VM had
+            forwarded, in seconds.
     """
 
     def __init__(self) -> None:
@@ -36,8 +38,9 @@
         self.places: list[bytes] = []
         self.addresses: list[Address] = []
         self.announced: list[ServiceName] = []
+        self.zones: list[ZoneName] = []
         self.in_force: set[int] = set()
-        self.heard: list[float] = []
+        self.answered: list[float] = []
         self.services: dict[tuple[ServiceName, bytes], int] = {}
         self.servers: dict[Address, int] = {}
 
@@ -52,6 +55,7 @@
         for server in changed.servers:
             number = self.server(server.server, server.service)
             self.announced[number] = server.service
+            self.zones[number] = server.zone
             self.in_force.add(number)
 
     def service(self, name: ServiceName, place: bytes) -> int:
@@ -72,7 +76,8 @@
             self.servers[address] = number
             self.addresses.append(address)
             self.announced.append(assumed)
-            self.heard.append(0.0)
+            self.zones.append(ZoneName(""))
+            self.answered.append(0.0)
         return number
 
     def permits(self, server: int, service: int) -> bool:
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -19,6 +19,8 @@
         datagram_seconds: Idle time after which a UDP flow is dropped.
         copy_refresh_seconds: Age at which a second copy is refreshed by a packet.
         settle_seconds: How long after a view change an unknown flow is not reset.
+        cut_hold_seconds: How long after two losses an unknown flow is not reset,
+            because a reply may still show its server.
         opening_grace_seconds: How long a new flow holds a slot without caller bytes.
         held_datagrams: UDP datagrams of one flow held while it is being placed.
         pending_limit: Flows held while they are being placed.
@@ -50,6 +52,7 @@
     datagram_seconds: float = 30.0
     copy_refresh_seconds: float = 10.0
     settle_seconds: float = 3.0
+    cut_hold_seconds: float = 10.0
     opening_grace_seconds: float = 1.0
     held_datagrams: int = 4
     pending_limit: int = 20_000
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -0,0 +1,135 @@
+"""Finding flows that their server no longer answers for, and ending them."""
+
+from __future__ import annotations
+
+from kumquatmux_core.identity import FlowKey
+from kumquatmux_core.segments import FLAG_ACK, PROTOCOL_TCP, Segment
+from kumquatmux_flows.events import (
+    ProbeCaller,
+    ProbeServer,
+    ResetCaller,
+    ResetServer,
+)
+from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.state import FlowState
+from kumquatmux_flows.table import (
+    SEQUENCE_MASK,
+    WAS_RESET,
+    FlowStatus,
+    Mark,
+    is_after,
+    is_at_least,
+)
+
+
+class Silence:
+    """Counts what a server left unanswered while it answered other flows.
+
+    A strike is a retransmission or a probe without answer. It counts only when the
+    server answered another flow's packet of this VM in the meantime: a server that is
+    busy, gone or cut off answers nobody, and that is no fault of one flow.
+    """
+
+    def __init__(self, state: FlowState) -> None:
+        self.state = state
+
+    def answered(self, slot: int, ack: int, now: float) -> None:
+        """Note a reply: it ends the silence if it acknowledges all, or more."""
+        table = self.state.table
+        known = table.server_acks[slot]
+        progress = known == 0 or is_after(ack, known)
+        if progress:
+            table.server_acks[slot] = ack
+        whole = is_at_least(ack, table.caller_nexts[slot])
+        if not whole and not progress:
+            return
+        if table.strikes[slot] or (whole and table.marks[slot] & Mark.WORKING):
+            self.state.routes.answered[table.servers[slot]] = now
+        table.strikes[slot] = 0
+
+    def strike(self, slot: int, gap: float, now: float) -> None:
+        """Note a retransmission or probe, at most one in a gap of seconds."""
+        state = self.state
+        table = state.table
+        latest = table.strike_times[slot]
+        if table.strikes[slot] == 0:
+            table.strikes[slot] = 1
+        elif now - latest < gap:
+            return
+        elif state.routes.answered[table.servers[slot]] > latest:
+            table.strikes[slot] = min(table.strikes[slot] + 1, WAS_RESET - 1)
+        table.strike_times[slot] = now
+
+    def retransmitted(self, slot: int, segment: Segment, now: float) -> None:
+        """Note a retransmission, and reset the flow when it was one too many."""
+        state = self.state
+        settings = state.settings
+        gap = settings.silent_seconds / settings.silent_retransmits
+        self.strike(slot, gap, now)
+        if state.table.strikes[slot] <= settings.silent_retransmits:
+            return
+        state.out.append(ResetServer(segment.key, state.address_of(slot), segment.seq))
+        state.out.append(ResetCaller(segment, Refusal.SILENT))
+        self.end(slot, now)
+
+    def end(self, slot: int, now: float) -> None:
+        """Close a flow that was reset."""
+        self.state.close(slot, Refusal.SILENT, now)
+        self.state.table.strikes[slot] = WAS_RESET
+
+    def probe(self, slot: int, key: FlowKey, now: float) -> None:
+        """Ask both ends of an idle TCP flow whether they still know it."""
+        state = self.state
+        table = state.table
+        settings = state.settings
+        if table.statuses[slot] != FlowStatus.ESTABLISHED or key[0] != PROTOCOL_TCP:
+            return
+        if now - table.reply_times[slot] < settings.probe_idle_seconds:
+            return
+        waited = now - table.strike_times[slot]
+        if table.strikes[slot] and waited < settings.probe_interval_seconds:
+            return
+        if state.probes_left < 1.0:
+            return
+        state.probes_left -= 1.0
+        self.strike(slot, settings.probe_interval_seconds, now)
+        if table.strikes[slot] > settings.probe_limit:
+            self.send_resets(slot, key)
+            self.end(slot, now)
+            return
+        self.send_probes(slot, key)
+
+    def send_probes(self, slot: int, key: FlowKey) -> None:
+        """Send one keepalive probe to each end whose numbers are known.
+
+        A probe carries the last byte that its receiver acknowledged, and acknowledges
+        nothing that the other end did not.
+        """
+        state = self.state
+        table = state.table
+        server_ack = table.server_acks[slot]
+        caller_ack = table.server_nexts[slot]
+        seq = (server_ack or table.caller_nexts[slot]) - 1 & SEQUENCE_MASK
+        state.out.append(ProbeServer(key, state.address_of(slot), seq, caller_ack))
+        if server_ack and table.marks[slot] & Mark.SERVER_SEEN:
+            seq = caller_ack - 1 & SEQUENCE_MASK
+            state.out.append(ProbeCaller(key, seq, server_ack))
+
+    def send_resets(self, slot: int, key: FlowKey) -> None:
+        """Send a reset to each end with the numbers known here."""
+        state = self.state
+        table = state.table
+        server_ack = table.server_acks[slot] or table.caller_nexts[slot]
+        caller_ack = table.server_nexts[slot]
+        state.out.append(ResetServer(key, state.address_of(slot), server_ack))
+        segment = Segment(key, FLAG_ACK, server_ack, caller_ack, 0, b"")
+        state.out.append(ResetCaller(segment, Refusal.SILENT))
+
+    def repeat_reset(self, slot: int, key: FlowKey, now: float) -> None:
+        """Reset a silent flow again while its key is in quarantine: resets get lost."""
+        state = self.state
+        if state.table.strikes[slot] != WAS_RESET or state.probes_left < 1.0:
+            return
+        if state.quarantined(slot, now) and state.permits(slot):
+            state.probes_left -= 1.0
+            self.send_resets(slot, key)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -82,6 +82,7 @@
     Attributes:
         out: Actions of the event in hand, with those the fast path left.
         pending: Flows that wait for placement.
+        missed: When a search for an open flow's record first failed, in seconds.
         graces: Provisional slots, the earliest to end first.
     """
 
@@ -95,7 +96,9 @@
         self.out: list[Action] = []
         self.pending: dict[FlowKey, Pending] = {}
         self.graces: deque[Grace] = deque()
+        self.missed: dict[FlowKey, float] = {}
         self.learned_order: deque[FlowKey] = deque()
+        self.probes_left = 0.0
         self.last_packet = float("-inf")
 
     def service_of(self, key: FlowKey) -> int | None:
@@ -176,7 +179,7 @@
         if key is None or self.table.roles[slot] == Role.OWNER:
             return
         self.table.set_role(slot, Role.OWNER)
-        self.table.marks[slot] &= ~(Mark.CONFIRMED | Mark.PLACED | Mark.WORKING) & 0xFF
+        self.table.marks[slot] &= Mark.CALLER_FIN | Mark.SERVER_FIN
         if self.table.statuses[slot] != FlowStatus.CLOSED:
             self.out.append(FlowAdopted(key, self.address_of(slot), self.name_of(slot)))
         self.say_slot("flow-adopted", slot, reason)
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -5,21 +5,18 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import FlowKey, VmId
-from kumquatmux_core.segments import FLAG_ACK, PROTOCOL_TCP, Segment
 from kumquatmux_flows.callers import CallerPath
 from kumquatmux_flows.events import (
-    ProbeCaller,
-    ProbeServer,
     Quiet,
-    ResetCaller,
     ResetServer,
     SendMessage,
 )
 from kumquatmux_flows.messages import BatchStored, FlowRecord, RecordBatch
 from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import (
-    SEQUENCE_MASK,
+    WAS_RESET,
     FlowStatus,
     Mark,
     Role,
@@ -54,14 +51,14 @@
         sent: Batches that wait for their confirmation, by number.
     """
 
-    def __init__(self, state: FlowState, callers: CallerPath) -> None:
+    def __init__(self, state: FlowState, callers: CallerPath, silence: Silence) -> None:
         self.state = state
+        self.silence = silence
         self.callers = callers
         self.cursor = 0
         self.due = 0.0
         self.last = float("-inf")
         self.bytes_left = 0.0
-        self.probes_left = 0.0
         self.number = 0
         self.sent: dict[int, SentBatch] = {}
         self.batches: dict[VmId, list[FlowRecord]] = {}
@@ -88,7 +85,8 @@
         self.bytes_left = min(self.bytes_left + rate * elapsed, full)
         probes = settings.probes_per_second
         full = max(probes * BURST_SECONDS, 1.0)
-        self.probes_left = min(self.probes_left + probes * elapsed, full)
+        left = self.state.probes_left + probes * elapsed
+        self.state.probes_left = min(left, full)
 
     def share(self, elapsed: float) -> int:
         """Return how many slots this tick looks at."""
@@ -113,6 +111,7 @@
         """Do what one record needs."""
         table = self.state.table
         if table.statuses[slot] == FlowStatus.CLOSED:
+            self.silence.repeat_reset(slot, key, now)
             if not self.state.quarantined(slot, now):
                 table.remove(slot)
         elif not self.state.permits(slot):
@@ -126,10 +125,21 @@
         """Return the seconds since a sign of life of a flow."""
         table = self.state.table
         latest = max(table.caller_times[slot], table.reply_times[slot])
+        if self.is_probed(slot):
+            latest = table.caller_times[slot]
         if table.roles[slot] == Role.COPY:
             latest = max(latest, table.copy_times[slot])
         return now - latest
 
+    def is_probed(self, slot: int) -> bool:
+        """Return whether probes keep a flow's server time recent.
+
+        Then only its caller shows life of its own.
+        """
+        table = self.state.table
+        established = table.statuses[slot] == FlowStatus.ESTABLISHED
+        return established and table.roles[slot] == Role.OWNER
+
     def idle_limit(self, slot: int) -> float:
         """Return the seconds a flow may be idle, by its status."""
         settings = self.state.settings
@@ -154,19 +164,27 @@
         if not owner:
             return
         if owner[0] != state.vm:
-            if table.roles[slot] == Role.OWNER:
+            if table.roles[slot] == Role.OWNER or self.is_orphan(slot, place, now):
                 self.hand_over(slot, owner[0], now)
             return
         if table.roles[slot] == Role.COPY:
             state.adopt(slot, "owner-gone")
         self.repair(slot, now)
-        self.probe(slot, key, now)
+        self.silence.probe(slot, key, now)
+
+    def is_orphan(self, slot: int, place: bytes, now: float) -> bool:
+        """Return whether a copy was not claimed by the owner of a newer view."""
+        changed = self.state.ranking.owner_changes.get(place)
+        if changed is None or now - changed < self.state.settings.settle_seconds:
+            return False
+        return self.state.table.copy_times[slot] < changed
 
     def hand_over(self, slot: int, owner: VmId, now: float) -> None:
         """Give a record to the VM that owns it now."""
         state = self.state
         held = state.table.copies[slot] == state.ranking.number(owner)
-        if held and state.table.marks[slot] & Mark.CONFIRMED:
+        owned = state.table.roles[slot] == Role.OWNER
+        if owned and held and state.table.marks[slot] & Mark.CONFIRMED:
             state.yield_role(slot, Role.COPY, "owner-moved")
             return
         self.collect(slot, owner, now)
@@ -211,7 +229,7 @@
             table.epochs[slot],
             table.statuses[slot],
             int(max(self.idle(slot, now), 0.0)),
-            table.caller_nexts[slot],
+            table.server_acks[slot],
             table.server_nexts[slot],
         )
 
@@ -268,6 +286,9 @@
             slot = None
         if slot is None:
             slot = self.add(record, now)
+        elif table.strikes[slot] == WAS_RESET:
+            self.silence.send_resets(slot, record.key)
+            return None
         self.refresh(slot, record, now)
         return None
 
@@ -294,7 +315,7 @@
         key = state.table.keys[slot]
         was_owner = state.table.roles[slot] == Role.OWNER
         if key is not None and was_owner and state.permits(slot):
-            seq = state.table.caller_nexts[slot]
+            seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.address_of(slot), seq))
         state.forget(slot, Refusal.CONFLICT, now)
 
@@ -307,10 +328,11 @@
         server = state.routes.server(record.server, record.service)
         slot = table.add(record.key, Role.COPY, server, service)
         table.statuses[slot] = record.status
-        table.caller_nexts[slot] = record.caller_next
-        table.server_nexts[slot] = record.server_next
+        table.server_acks[slot] = record.server_ack
+        table.caller_nexts[slot] = record.server_ack
+        table.server_nexts[slot] = record.caller_ack
         table.caller_times[slot] = now - record.idle
-        if record.server_next:
+        if record.caller_ack:
             table.marks[slot] |= Mark.SERVER_SEEN
         return slot
 
@@ -343,79 +365,15 @@
         """Note that a VM keeps one record."""
         state = self.state
         table = state.table
+        table.copy_times[slot] = now
         if table.roles[slot] != Role.OWNER:
             return
         table.copies[slot] = state.ranking.number(vm)
-        table.copy_times[slot] = now
         table.marks[slot] |= Mark.CONFIRMED
         place = state.routes.places[table.services[slot]]
         if state.ranking.rank(place)[:1] == [vm]:
             state.yield_role(slot, Role.COPY, "owner-moved")
 
-    def probe(self, slot: int, key: FlowKey, now: float) -> None:
-        """Ask both ends of an idle TCP flow whether they still know it."""
-        state = self.state
-        table = state.table
-        settings = state.settings
-        if table.statuses[slot] != FlowStatus.ESTABLISHED or key[0] != PROTOCOL_TCP:
-            return
-        if self.is_healthy(slot, now):
-            return
-        if table.strikes[slot] >= settings.probe_limit:
-            if self.server_answers_others(slot):
-                self.reset_both(slot, key, now)
-            return
-        if self.probes_left < 1.0:
-            return
-        self.probes_left -= 1.0
-        self.send_probes(slot, key, now)
-
-    def is_healthy(self, slot: int, now: float) -> bool:
-        """Return whether a flow needs no probe now, clearing answered ones."""
-        table = self.state.table
-        settings = self.state.settings
-        first = table.strike_times[slot]
-        quiet_caller = now - table.caller_times[slot]
-        quiet_server = now - table.reply_times[slot]
-        if min(quiet_caller, quiet_server) < settings.probe_idle_seconds:
-            return True
-        if table.strikes[slot] == 0:
-            return False
-        waited = now - first
-        return waited < table.strikes[slot] * settings.probe_interval_seconds
-
-    def server_answers_others(self, slot: int) -> bool:
-        """Return whether the server was heard since the first unanswered probe."""
-        table = self.state.table
-        heard = self.state.routes.heard[table.servers[slot]]
-        return heard > table.strike_times[slot]
-
-    def send_probes(self, slot: int, key: FlowKey, now: float) -> None:
-        """Send one keepalive probe to each end."""
-        state = self.state
-        table = state.table
-        if table.strikes[slot] == 0:
-            table.strike_times[slot] = now
-        table.strikes[slot] += 1
-        caller_next = table.caller_nexts[slot]
-        server_next = table.server_nexts[slot]
-        before = (caller_next - 1) & SEQUENCE_MASK
-        server = state.address_of(slot)
-        state.out.append(ProbeServer(key, server, before, server_next))
-        before = (server_next - 1) & SEQUENCE_MASK
-        state.out.append(ProbeCaller(key, before, caller_next))
-
-    def reset_both(self, slot: int, key: FlowKey, now: float) -> None:
-        """Reset both ends of a flow that no end answers for."""
-        state = self.state
-        table = state.table
-        caller_next = table.caller_nexts[slot]
-        server_next = table.server_nexts[slot]
-        state.out.append(ResetServer(key, state.address_of(slot), caller_next))
-        segment = Segment(key, FLAG_ACK, caller_next, server_next, 0, b"")
-        state.out.append(ResetCaller(segment, Refusal.SILENT))
-        state.close(slot, Refusal.SILENT, now)
-
     def tell_quiet(self, now: float) -> None:
         """Report once that a leaving VM has nothing left to do."""
         state = self.state
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -9,6 +9,7 @@
 
 GROWTH_SLOTS = 1_024
 NO_VM = 0xFFFF
+WAS_RESET = 255
 SEQUENCE_MASK = 0xFFFFFFFF
 SEQUENCE_HALF = 0x80000000
 
@@ -37,7 +38,9 @@
 
     ``PLACED`` tells flows placed by this VM. ``SERVER_SEEN`` says that
     ``server_next`` holds a number seen in a packet, ``CALLER_SEEN`` the same of
-    ``caller_next``, ``CONFIRMED`` that the second copy is known to be in place.
+    ``caller_next``, ``CONFIRMED`` that the second copy is known to be in place. At the
+    owner ``server_next`` is what the caller acknowledged, not what the server sent: a
+    reset or probe with any other number is not taken by the caller.
     """
 
     WORKING = 1
@@ -76,6 +79,7 @@
         self.caller_isns: array[int] = array("I")
         self.caller_nexts: array[int] = array("I")
         self.server_nexts: array[int] = array("I")
+        self.server_acks: array[int] = array("I")
         self.copy_seqs: array[int] = array("I")
         self.copy_times: array[float] = array("d")
         self.caller_times: array[float] = array("d")
@@ -112,6 +116,7 @@
         self.caller_isns[slot] = 0
         self.caller_nexts[slot] = 0
         self.server_nexts[slot] = 0
+        self.server_acks[slot] = 0
         self.copy_seqs[slot] = 0
         self.copy_times[slot] = 0.0
         self.caller_times[slot] = 0.0
@@ -157,6 +162,7 @@
             self.caller_isns,
             self.caller_nexts,
             self.server_nexts,
+            self.server_acks,
             self.copy_seqs,
             self.copy_times,
             self.caller_times,
