Replace a control VM by one call

A lost control VM has to give way to another one. Operators name the control VMs there are to be; the log's leader takes them one at a time, refuses other sizes than 1, 3 and 5 (422), and says when another membership change is under way (503).

A run of three cores replaces a cut-off VM by a new name and accepts a change; 6 HTTP cases pass.

--- a/libs/daemons/src/kumquatmux_daemons/cli.py
+++ b/libs/daemons/src/kumquatmux_daemons/cli.py
@@ -308,6 +308,20 @@
     show(body, text.servers_text(body["servers"]), as_json)
 
 
+@app.command("control-vms")
+def control_vms(
+    context: typer.Context,
+    vms: Annotated[list[str], typer.Argument(help="All control VMs: 1, 3 or 5.")],
+    as_json: AsJson = False,
+) -> None:
+    """Name the control VMs there are to be; each joins as its daemon answers.
+
+    Example: kumquatmux control-vms cnx-a-control cnx-b-control lpg-a-control-2
+    """
+    body = asked(client_of(context).post("/v1/control-vms", {"vms": vms}), as_json)
+    show(body, f"control VMs are to be {', '.join(body['vms'])}", as_json)
+
+
 @app.command()
 def drain(
     context: typer.Context,
--- a/libs/daemons/src/kumquatmux_daemons/control/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/core.py
@@ -21,6 +21,7 @@
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.control.effects import (
     Ask,
+    AskControlVms,
     Effect,
     FromCopy,
     FromReplica,
@@ -29,7 +30,13 @@
     Tell,
     Tick,
 )
-from kumquatmux_daemons.operators.desk import NotLeader, Settled, Uncertain
+from kumquatmux_daemons.operators.desk import (
+    NotLeader,
+    NotTaken,
+    Reshaped,
+    Settled,
+    Uncertain,
+)
 from kumquatmux_settings import copy_events
 from kumquatmux_settings.change import ChangeOutcome
 from kumquatmux_settings.changelog import ChangeLog, ChangeLogSettings, encode_change
@@ -123,6 +130,7 @@
         self.failure = ""
         self.outcomes: dict[int, ChangeOutcome] = {}
         self.waiting: dict[int, str] = {}
+        self.reshaping: dict[str, tuple[VmId, ...]] = {}
         self.confirm_at = 0.0
         self.confirm_number = 0
         self.out: list[Effect] = []
@@ -165,6 +173,12 @@
         data = encode_change(event.change)
         self._drive(agreement.Propose(data, event.token), now)
 
+    @_on.register
+    def _(self, event: AskControlVms, now: float) -> None:
+        log("control-vms", vms=",".join(event.vms))
+        self.reshaping[event.token] = event.vms
+        self._drive(agreement.ChangeMembership(event.vms, event.token), now)
+
     @_on.register
     def _(self, event: FromReplica, now: float) -> None:
         self._drive(agreement.Received(event.message), now)
@@ -241,10 +255,14 @@
         if action.token.startswith("confirm "):
             if action.outcome == agreement.Outcome.CURRENT:
                 self._act_on_copy(self.copy.handle(copy_events.Confirmed(), now))
+            return []
+        vms = self.reshaping.pop(action.token, None)
+        if action.outcome == agreement.Outcome.REFUSED:
+            self.out.append(Tell(action.token, self._refusal(action)))
+        elif action.outcome == agreement.Outcome.COMMITTED and vms is not None:
+            self.out.append(Tell(action.token, Reshaped(vms)))
         elif action.outcome == agreement.Outcome.COMMITTED:
             self._settle(action.token, action.log_index)
-        elif action.outcome == agreement.Outcome.REFUSED:
-            self.out.append(Tell(action.token, self._not_leader(action)))
         else:
             detail = action.problem.detail if action.problem else "the outcome is open"
             self.out.append(Tell(action.token, Uncertain(detail)))
@@ -265,7 +283,10 @@
         if len(self.outcomes) > OUTCOMES_KEPT:
             del self.outcomes[next(iter(self.outcomes))]
 
-    def _not_leader(self, reply: agreement.Reply) -> NotLeader:
+    def _refusal(self, reply: agreement.Reply) -> NotLeader | NotTaken:
+        """Return what an operator is told of a wish that never entered the log."""
+        if reply.problem is not None and self.leader == self.settings.vm:
+            return NotTaken(reply.problem)
         detail = reply.problem.detail if reply.problem else "refused"
         leader = reply.leader.vm if reply.leader else None
         endpoints = (m.operators for m in self.settings.control if m.vm == leader)
--- a/libs/daemons/src/kumquatmux_daemons/control/desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/desk.py
@@ -13,7 +13,14 @@
 from kumquatmux_agreement.events import Role
 from kumquatmux_core.identity import ServerId, VmId
 from kumquatmux_daemons.control.core import ControlCore
-from kumquatmux_daemons.control.effects import Ask, Effect, Send, StoodDown, Tell
+from kumquatmux_daemons.control.effects import (
+    Ask,
+    AskControlVms,
+    Effect,
+    Send,
+    StoodDown,
+    Tell,
+)
 from kumquatmux_daemons.operators.desk import (
     ControlVm,
     EntryVm,
@@ -127,9 +134,18 @@
     async def change(self, change: Change) -> Handling:
         """Put a change into the log and wait a bounded time for its outcome."""
         token = f"change {next(self.numbers)}"
+        return await self._told(Ask(change, token))
+
+    async def use_control_vms(self, vms: tuple[VmId, ...]) -> Handling:
+        """Ask the log for other control VMs and wait a bounded time."""
+        token = f"control-vms {next(self.numbers)}"
+        return await self._told(AskControlVms(vms, token))
+
+    async def _told(self, question: Ask | AskControlVms) -> Handling:
+        token = question.token
         done = self.asked[token] = trio.Event()
         try:
-            self.give(Ask(change, token))
+            self.give(question)
             with trio.move_on_after(CHANGE_WAIT_S):
                 await done.wait()
             late = Uncertain(f"no majority answered within {CHANGE_WAIT_S:.0f} s")
--- a/libs/daemons/src/kumquatmux_daemons/control/effects.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/effects.py
@@ -22,6 +22,13 @@
     token: str
 
 
+class AskControlVms(NamedTuple):
+    """An operator names the control VMs; answered by one ``Tell`` with the token."""
+
+    vms: tuple[VmId, ...]
+    token: str
+
+
 class FromReplica(NamedTuple):
     """A message of another control VM's replica."""
 
@@ -34,7 +41,7 @@
     message: SettingsMessage
 
 
-Event = Tick | Ask | FromReplica | FromCopy
+Event = Tick | Ask | AskControlVms | FromReplica | FromCopy
 
 
 class Send(NamedTuple):
--- a/libs/daemons/src/kumquatmux_daemons/operators/answers.py
+++ b/libs/daemons/src/kumquatmux_daemons/operators/answers.py
@@ -112,6 +112,12 @@
     revisions: list[RevisionBody]
 
 
+class ControlVmsBody(TypedDict):
+    """The control VMs there are to be: 1, 3 or 5."""
+
+    vms: list[str]
+
+
 class ServerBody(TypedDict):
     """One backend server."""
 
--- a/libs/daemons/src/kumquatmux_daemons/operators/api.py
+++ b/libs/daemons/src/kumquatmux_daemons/operators/api.py
@@ -22,7 +22,7 @@
 from starlette.routing import Route
 
 from kumquatmux_core.decisions import log
-from kumquatmux_core.identity import ServerId
+from kumquatmux_core.identity import ServerId, VmId
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.keys.tokens import (
     Access,
@@ -30,8 +30,15 @@
     find_operator,
     read_operators,
 )
-from kumquatmux_daemons.operators.answers import ChangeBody
-from kumquatmux_daemons.operators.desk import Desk, NotLeader, Settled, Uncertain
+from kumquatmux_daemons.operators.answers import ChangeBody, ControlVmsBody
+from kumquatmux_daemons.operators.desk import (
+    Desk,
+    NotLeader,
+    NotTaken,
+    Reshaped,
+    Settled,
+    Uncertain,
+)
 from kumquatmux_daemons.operators.render import (
     explain_body,
     outcome_body,
@@ -48,6 +55,8 @@
 HISTORY_LIMIT = 1000
 HISTORY_DEFAULT = 20
 
+WRONG_BY_ITSELF = frozenset({"membership-size", "entry-too-long"})
+
 STATUS_BY_VERDICT = {
     Verdict.ACCEPTED: 200,
     Verdict.CONFLICT: 409,
@@ -88,6 +97,12 @@
     RouteDoc(
         "GET", "/v1/history", Access.READ, "Accepted changes, newest first, `limit`."
     ),
+    RouteDoc(
+        "POST",
+        "/v1/control-vms",
+        Access.CHANGE,
+        "Name the control VMs there are to be.",
+    ),
     RouteDoc("GET", "/v1/status", Access.READ, "All VMs and servers."),
     RouteDoc("GET", "/v1/servers", Access.READ, "All backend servers."),
     RouteDoc(
@@ -111,6 +126,7 @@
         api.change,
         api.outcome,
         api.history,
+        api.control_vms,
         api.status,
         api.servers,
         api.drain,
@@ -179,7 +195,8 @@
         change = _change(body, operator)
         if change.is_error():
             return _refuse(400, *change.error)
-        return _handled(await self.desk.change(change.ok), change.ok)
+        subject = change.ok.change_id
+        return _handled(await self.desk.change(change.ok), request.url.path, subject)
 
     async def outcome(self, request: Request, operator: Operator) -> Response:
         change_id = request.path_params["change_id"]
@@ -197,6 +214,15 @@
         past = self.desk.history(int(text))
         return JSONResponse({"revisions": [revision_body(each) for each in past]})
 
+    async def control_vms(self, request: Request, operator: Operator) -> Response:
+        try:
+            body = msgspec.json.decode(await _body(request) or b"", type=ControlVmsBody)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            return _refuse(400, "body", str(error))
+        vms = tuple(VmId(vm) for vm in body["vms"])
+        log("control-vms-asked", operator=operator.name, vms=",".join(vms))
+        return _handled(await self.desk.use_control_vms(vms), request.url.path)
+
     async def status(self, request: Request, operator: Operator) -> Response:
         overview = await self.desk.overview()
         return JSONResponse(status_body(self.desk.tree(), overview))
@@ -246,28 +272,41 @@
 
 
 @singledispatch
-def _handled(handling: Any, change: Change) -> Response:
+def _handled(handling: Any, path: str, subject: str = "") -> Response:
+    """Return the answer for what became of a wish sent to a path."""
     raise TypeError(f"no answer for {type(handling).__name__}")
 
 
 @_handled.register
-def _(handling: Settled, change: Change) -> Response:
+def _(handling: Settled, path: str, subject: str = "") -> Response:
     status = STATUS_BY_VERDICT[handling.outcome.verdict]
     return JSONResponse(outcome_body(handling.outcome), status)
 
 
 @_handled.register
-def _(handling: NotLeader, change: Change) -> Response:
+def _(handling: Reshaped, path: str, subject: str = "") -> Response:
+    return JSONResponse(ControlVmsBody(vms=list(handling.vms)))
+
+
+@_handled.register
+def _(handling: NotLeader, path: str, subject: str = "") -> Response:
     if handling.leader is None:
-        return _refuse(503, "not-leader", handling.detail, change.change_id)
-    response = _refuse(307, "not-leader", handling.detail, change.change_id)
-    response.headers["location"] = f"https://{handling.leader}/v1/changes"
+        return _refuse(503, "not-leader", handling.detail, subject)
+    response = _refuse(307, "not-leader", handling.detail, subject)
+    response.headers["location"] = f"https://{handling.leader}{path}"
     return response
 
 
 @_handled.register
-def _(handling: Uncertain, change: Change) -> Response:
-    outcome = ChangeOutcome(change.change_id, Verdict.UNKNOWN, -1, handling.detail)
+def _(handling: NotTaken, path: str, subject: str = "") -> Response:
+    problem = handling.problem
+    is_wrong = problem.code in WRONG_BY_ITSELF
+    return _refuse(422 if is_wrong else 503, problem.code, problem.detail, subject)
+
+
+@_handled.register
+def _(handling: Uncertain, path: str, subject: str = "") -> Response:
+    outcome = ChangeOutcome(subject, Verdict.UNKNOWN, -1, handling.detail)
     return JSONResponse(outcome_body(outcome), STATUS_BY_VERDICT[Verdict.UNKNOWN])
 
 
--- a/libs/daemons/src/kumquatmux_daemons/operators/desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/operators/desk.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple, Protocol
 
 from kumquatmux_core.identity import Endpoint, ServerId, VmId
+from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.reports import VmReport
 from kumquatmux_settings.change import Change, ChangeOutcome, Edit
 
@@ -33,7 +34,19 @@
     detail: str
 
 
-Handling = Settled | NotLeader | Uncertain
+class Reshaped(NamedTuple):
+    """The log holds the wish for other control VMs; they join one at a time."""
+
+    vms: tuple[VmId, ...]
+
+
+class NotTaken(NamedTuple):
+    """The leader refused and nothing entered the log."""
+
+    problem: Problem
+
+
+Handling = Settled | Reshaped | NotLeader | NotTaken | Uncertain
 
 
 class Tree(NamedTuple):
@@ -115,6 +128,9 @@
     async def change(self, change: Change) -> Handling:
         """Put a change into the log and wait a bounded time for its outcome."""
 
+    async def use_control_vms(self, vms: tuple[VmId, ...]) -> Handling:
+        """Ask the log for other control VMs and wait a bounded time."""
+
     def outcome(self, change_id: str) -> ChangeOutcome | None:
         """Return the outcome of a change if it is known here."""
 
--- a/libs/daemons/tests/test_control_core.py
+++ b/libs/daemons/tests/test_control_core.py
@@ -18,6 +18,7 @@
 from kumquatmux_daemons.control.core import ControlCore, ControlSettings, Member
 from kumquatmux_daemons.control.effects import (
     Ask,
+    AskControlVms,
     FromCopy,
     FromReplica,
     Send,
@@ -25,7 +26,7 @@
     Tell,
     Tick,
 )
-from kumquatmux_daemons.operators.desk import NotLeader, Settled, Uncertain
+from kumquatmux_daemons.operators.desk import NotLeader, Reshaped, Settled, Uncertain
 from kumquatmux_settings.change import Change, Edit, Verdict
 from kumquatmux_settings.copy_events import DistributionSettings, Received, SendMessage
 from kumquatmux_settings.distribution import SettingsCopy
@@ -84,14 +85,14 @@
             for m in ENTRY
         }
 
-    def start(self, vm):
-        me = CONTROL[vm]
-        others = tuple(member for member in CONTROL.values() if member != me)
+    def start(self, vm, control=CONTROL):
+        me = control[vm]
+        others = tuple(member for member in control.values() if member != me)
         peers = tuple(member.vm for member in others)
         replica = ReplicaSettings("site", ReplicaId(vm, f"f-{vm}"), peers)
         settings = ControlSettings(replica, me.zone, others, ENTRY)
         folder = self.folders[vm]
-        rng = Random(list(CONTROL).index(vm))
+        rng = Random(list(control).index(vm))
         self.cores[vm] = ControlCore(settings, folder.state, folder, rng)
 
     def run(self, seconds):
@@ -208,6 +209,29 @@
     assert site.ask(site.leader(), change("c1", 0), "t2").outcome.revision == 1
 
 
+def test_a_control_vm_is_replaced_by_one_with_another_name(site):
+    leader = site.leader()
+    gone = next(vm for vm in CONTROL if vm != leader)
+    site.give(leader, AskControlVms((*CONTROL,), "t0"))
+    site.give(leader, AskControlVms(tuple(CONTROL)[:2], "t1"))
+    assert site.told["t0"] == Reshaped(tuple(CONTROL))
+    assert site.told["t1"].problem.code == "membership-size"
+    site.cut = {gone}
+    new = Member("new-c", CONTROL[gone].zone, Endpoint("10.0.9.9", 4800))
+    site.folders["new-c"] = Folder(joining_state())
+    control = {**CONTROL, "new-c": new}
+    site.start("new-c", control)
+    wanted = tuple(vm for vm in control if vm != gone)
+    site.give(leader, AskControlVms(wanted, "t2"))
+    site.run(10.0)
+    assert site.told["t2"] == Reshaped(wanted)
+    voters = site.cores[leader].replica.status().configuration.voters
+    assert sorted(voter.vm for voter in voters) == sorted(wanted)
+    assert site.ask(leader, change("c1", 0), "t3").outcome.revision == 1
+    site.run(1.0)
+    assert site.cores["new-c"].changes.revision == 1
+
+
 def test_all_restart_with_hundreds_of_changes_and_go_on(site):
     leader = site.leader()
     for number in range(300):
--- a/libs/daemons/tests/test_operators_api.py
+++ b/libs/daemons/tests/test_operators_api.py
@@ -6,14 +6,17 @@
 import pytest
 
 from kumquatmux_core.identity import Endpoint
+from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.keys.tokens import hash_token
 from kumquatmux_daemons.operators.api import BODY_LIMIT_BYTES, operators_app
 from kumquatmux_daemons.operators.desk import (
     ControlVm,
     EntryVm,
     NotLeader,
+    NotTaken,
     Overview,
     PastRevision,
+    Reshaped,
     Settled,
     Tree,
     Uncertain,
@@ -42,6 +45,9 @@
         self.changes.append(change)
         return self.handling
 
+    async def use_control_vms(self, vms):
+        return self.handling or Reshaped(vms)
+
     def outcome(self, change_id):
         known = ChangeOutcome("c1", Verdict.ACCEPTED, 4)
         return known if change_id == "c1" else None
@@ -145,6 +151,7 @@
         (settled(Verdict.EXPIRED), 410, "expired"),
         (settled(Verdict.INVALID), 422, "invalid"),
         (Uncertain("no majority answered in time"), 504, "unknown"),
+        (NotTaken(Problem("pending-full", "too many changes")), 503, None),
         (NotLeader(None, "no leader"), 503, None),
         (NotLeader(Endpoint("10.0.1.9", 4800), "cnx-b-c leads"), 307, None),
     ],
@@ -160,6 +167,25 @@
     assert change.edits == (Edit("a", "1"), Edit("b", None))
 
 
+@pytest.mark.parametrize(
+    "handling, body, status",
+    [
+        (None, {"vms": ["a", "b", "c"]}, 200),
+        (None, {"vms": "a"}, 400),
+        (NotTaken(Problem("membership-size", "2 named")), {"vms": ["a", "b"]}, 422),
+        (NotTaken(Problem("membership-busy", "under way")), {"vms": ["a"]}, 503),
+        (NotLeader(Endpoint("10.0.1.9", 4800), "b leads"), {"vms": ["a"]}, 307),
+        (Uncertain("no majority"), {"vms": ["a"]}, 504),
+    ],
+)
+async def test_control_vms_are_named_by_the_leader(token_file, handling, body, status):
+    desk = FakeDesk(handling)
+    answer = await ask(desk, token_file, "POST", "/v1/control-vms", json=body)
+    assert answer.status_code == status
+    if status == 307:
+        assert answer.headers["location"].endswith("/v1/control-vms")
+
+
 BODIES = [
     (b"", 400),
     (b"[]", 400),
