--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -102,11 +102,19 @@
 
 
 class ProbeAnswer(NamedTuple):
-    """The peer reached the third VM lately."""
+    """The peer reached the third VM after it was asked to.
+
+    Attributes:
+        sender: Who answers.
+        target: The third VM.
+        number: Number of the request.
+        incarnation: Incarnation of the third VM that was reached.
+    """
 
     sender: VmId
     target: VmId
     number: int
+    incarnation: int = 0
 
 
 class Lease(NamedTuple):
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -36,6 +36,7 @@
 from kumquatmux_membership.settings import MembershipSettings
 from kumquatmux_membership.stamps import STAMP_STEP_SECONDS, echoes_us
 
+INCARNATION_STEP_BITS = 20
 REPLY_GAP_SECONDS = 0.05
 PROBE_MEMORY_SECONDS = 2.0
 MAX_KNOWN_IN_HELLO = 64
@@ -131,7 +132,7 @@
         for peer in self.peers.values():
             peer.contact = NEVER
             peer.extended_until = NEVER
-            peer.probed = False
+            peer.probe = 0
         decisions.log("view-suspended", vm=self.me.vm, gap=round(gap, 3))
         self.actions.append(ViewSuspended(gap))
 
@@ -144,7 +145,7 @@
         if now >= self.next_round:
             self._heartbeat_round(now)
         for peer in self.peers.values():
-            if peer.suspected(now, self.settings) and not peer.probed:
+            if peer.suspected(now, self.settings) and not peer.probe:
                 self._ask_probes(peer, now)
         self.probes = [
             probe for probe in self.probes if now - probe.stamp < PROBE_MEMORY_SECONDS
@@ -179,11 +180,13 @@
         if peer is None or message.stamp <= peer.heard:
             return
         peer.heard = message.stamp
+        peer.heard_at = now
         peer.introduced = True
         if echoes_us(message, self.me.incarnation, now):
             peer.echoed(message.echo)
             self._answer_probes(peer)
-        if self._silent(peer, now) and now - peer.sent >= REPLY_GAP_SECONDS:
+        unconfirmed = now - peer.contact > self.settings.remove_seconds
+        if unconfirmed and now - peer.sent >= REPLY_GAP_SECONDS:
             self._send_heartbeat(peer, now)
         peer.refused = message.refused
         if message.leaving and not peer.left:
@@ -212,7 +215,8 @@
     def _receive_superseded(self, message: Superseded, now: float) -> None:
         if message.incarnation <= self.me.incarnation:
             return
-        self.me = self.me._replace(incarnation=message.incarnation + 1)
+        step = 1 + self.random.getrandbits(INCARNATION_STEP_BITS)
+        self.me = self.me._replace(incarnation=message.incarnation + step)
         decisions.log("incarnation-raised", incarnation=self.me.incarnation)
         self.actions.append(IncarnationRaised(self.me.incarnation))
         self._heartbeat_round(now)
@@ -228,7 +232,10 @@
     @_receive.register
     def _receive_probe_answer(self, message: ProbeAnswer, now: float) -> None:
         peer = self.peers.get(message.target)
-        if peer is None or not peer.probed:
+        if peer is None or message.incarnation < peer.vm.incarnation:
+            return
+        self._note_incarnation(peer, message.incarnation)
+        if peer.probe != message.number:
             return
         keep = self.settings.remove_seconds + self.settings.probe_grace_seconds
         peer.extended_until = peer.contact + keep
@@ -241,12 +248,17 @@
         if incarnation < peer.vm.incarnation:
             self._send(sender, Superseded(self.me.vm, peer.vm.incarnation))
             return None
-        if incarnation > peer.vm.incarnation:
-            if peer.live and not peer.left:
-                self.lost.add(sender)
-            peer.renew_incarnation(incarnation)
+        self._note_incarnation(peer, incarnation)
         return peer
 
+    def _note_incarnation(self, peer: Peer, incarnation: int) -> None:
+        """Drop what is known of an earlier process of a VM."""
+        if incarnation <= peer.vm.incarnation:
+            return
+        if peer.live and not peer.left:
+            self.lost.add(peer.vm.vm)
+        peer.renew_incarnation(incarnation)
+
     def _learn(self, vm: Vm, now: float) -> Peer:
         peer = self.peers.get(vm.vm)
         if peer is None:
@@ -273,15 +285,13 @@
         quiet = self.round % self.settings.quiet_rounds
         self.round += 1
         for peer in self.peers.values():
-            if self._silent(peer, now) and quiet and self.suspended_until is None:
+            silent = now - peer.heard_at > self.settings.remove_seconds
+            if silent and quiet and self.suspended_until is None:
                 continue
             self._send_heartbeat(peer, now)
             if not peer.introduced:
                 self._send(peer.vm.vm, self._hello(answer=False))
 
-    def _silent(self, peer: Peer, now: float) -> bool:
-        return now - peer.contact > self.settings.remove_seconds
-
     def _send_heartbeat(self, peer: Peer, now: float) -> None:
         self.latest_stamp = max(now, self.latest_stamp + STAMP_STEP_SECONDS)
         message = Heartbeat(
@@ -304,13 +314,13 @@
         return Hello(self.me, tuple(known[:MAX_KNOWN_IN_HELLO]), answer)
 
     def _ask_probes(self, target: Peer, now: float) -> None:
-        target.probed = True
         helpers = [
             peer.vm.vm
             for peer in self.peers.values()
             if peer is not target and peer.usable(now, self.settings)
         ]
         self.probe_number += 1
+        target.probe = self.probe_number
         request = ProbeRequest(self.me.vm, target.vm.vm, self.probe_number)
         count = min(self.settings.probe_helpers, len(helpers))
         for helper in self.random.sample(helpers, count):
@@ -321,7 +331,9 @@
         waiting = []
         for probe in self.probes:
             if probe.target == peer.vm.vm and peer.contact >= probe.stamp:
-                answer = ProbeAnswer(self.me.vm, probe.target, probe.number)
+                answer = ProbeAnswer(
+                    self.me.vm, probe.target, probe.number, peer.vm.incarnation
+                )
                 self._send(probe.asker, answer)
             else:
                 waiting.append(probe)
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -16,6 +16,7 @@
         listed: Whether the settings name it.
         introduced: Whether it has spoken under its present incarnation.
         heard: Its latest stamp, by its own clock.
+        heard_at: When that stamp arrived, by ours.
         contact: Our latest stamp that it echoed: when it surely heard us, and we it.
         sent: When we sent it a heartbeat last.
         refused: Whether it says that it does not use us.
@@ -23,7 +24,7 @@
         left: Whether it said that it shuts down.
         left_at: When it first said so.
         extended_until: Until when it stays because another VM reached it.
-        probed: Whether others were asked to probe it since the last contact.
+        probe: Number of the probe others make since the last contact, 0 for none.
         hold_until: Until when it stays out although it answers.
         losses: How often it was lost since it was last stable.
         since: When it last entered or left the view.
@@ -34,6 +35,7 @@
         self.listed = listed
         self.introduced = False
         self.heard = 0.0
+        self.heard_at = NEVER
         self.contact = NEVER
         self.sent = NEVER
         self.refused = False
@@ -41,7 +43,7 @@
         self.left = False
         self.left_at = NEVER
         self.extended_until = NEVER
-        self.probed = False
+        self.probe = 0
         self.hold_until = NEVER
         self.losses = 0
         self.since = now
@@ -55,13 +57,13 @@
         self.refused = False
         self.left = False
         self.extended_until = NEVER
-        self.probed = False
+        self.probe = 0
 
     def echoed(self, stamp: float) -> None:
         """Note that it echoed one of our stamps."""
         if stamp > self.contact:
             self.contact = stamp
-            self.probed = False
+            self.probe = 0
 
     def answers(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it and we hear each other, judged from our side alone."""
