Send a whole tree in parts

A link refuses messages above 4 MiB, and a tree for 24,000 addresses is larger, so a restarted VM could never have caught up at that size. A tree travels in parts of 2,000 keys; it counts once no part is missing and the digest fits, and parts that still come hold back the next request. The hypothesis runs cut trees into parts of 1 to 3 keys.

--- a/libs/settings/src/kumquatmux_settings/copy_events.py
+++ b/libs/settings/src/kumquatmux_settings/copy_events.py
@@ -17,12 +17,14 @@
         sources: The control VMs, which settle a dispute about one revision.
         retry_s: Time after which an unanswered request goes to another peer.
         history_limit: Deltas kept for peers that are behind.
+        part_keys: Keys in one part of a whole tree.
     """
 
     vm: VmId
     sources: frozenset[VmId] = frozenset()
     retry_s: float = 1.0
     history_limit: int = 256
+    part_keys: int = 2000
 
 
 class Accepted(NamedTuple):
--- a/libs/settings/src/kumquatmux_settings/distribution.py
+++ b/libs/settings/src/kumquatmux_settings/distribution.py
@@ -9,12 +9,14 @@
 
 import math
 from collections import deque
+from collections.abc import Sequence
 from functools import singledispatchmethod
 from random import Random
 from typing import Any
 
 from kumquatmux_core.decisions import log
 from kumquatmux_core.identity import VmId
+from kumquatmux_settings.assembly import Assembly, cut
 from kumquatmux_settings.change import Edit
 from kumquatmux_settings.copy_events import (
     Accepted,
@@ -68,6 +70,7 @@
         self.history: deque[Delta] = deque(maxlen=settings.history_limit)
         self.asked_at = -math.inf
         self.is_flawed = False
+        self.assembly = Assembly()
 
     def staleness(self, now: float) -> float:
         """Return seconds since this copy was confirmed as the newest."""
@@ -134,7 +137,8 @@
         if message.revision > self.revision:
             self._note_peer(message.sender, message.revision)
             return self._catch_up(now)
-        return [SendMessage(message.sender, self._answer(message))]
+        answers = self._answers(message)
+        return [SendMessage(message.sender, answer) for answer in answers]
 
     @_receive.register
     def _(self, message: Delta, now: float) -> list[Action]:
@@ -156,9 +160,10 @@
         repairs = self.is_flawed and message.sender in self.settings.sources
         if message.revision < self.revision + (0 if repairs else 1):
             return []
-        values = {
-            edit.path: edit.value for edit in message.edits if edit.value is not None
-        }
+        self.asked_at = now
+        values = self.assembly.add(message)
+        if values is None:
+            return []
         if digest_of(values) != message.digest:
             log("settings-snapshot-refused", sender=message.sender, why="digest")
             return []
@@ -212,26 +217,20 @@
         ]
         return actions
 
-    def _answer(self, request: DeltaRequest) -> Message:
+    def _answers(self, request: DeltaRequest) -> Sequence[Message]:
         if request.digest == self.digest and request.revision == self.revision:
-            return Delta(
-                self.settings.vm,
-                self.revision,
-                self.digest,
-                self.revision,
-                self.digest,
-                (),
-            )
+            return []
         following = [d for d in self.history if d.base_revision >= request.revision]
         if following and (following[0].base_revision, following[0].base_digest) == (
             request.revision,
             request.digest,
         ):
-            return following[0]._replace(
+            delta = following[0]._replace(
                 revision=self.revision, digest=self.digest, edits=_merge(following)
             )
-        edits = tuple(Edit(path, text) for path, text in self.values.items())
-        return Snapshot(self.settings.vm, self.revision, self.digest, edits)
+            return [delta]
+        whole = Snapshot(self.settings.vm, self.revision, self.digest, ())
+        return cut(whole, self.values, self.settings.part_keys)
 
     def _note_peer(self, vm: VmId, revision: int) -> None:
         self.newest = max(self.newest, revision)
--- a/libs/settings/src/kumquatmux_settings/messages.py
+++ b/libs/settings/src/kumquatmux_settings/messages.py
@@ -43,19 +43,23 @@
 
 
 class Snapshot(NamedTuple):
-    """A whole tree.
+    """A whole tree, or one part of it.
 
     Attributes:
         sender: Who tells it.
         revision: Its revision.
-        digest: Its digest.
-        edits: Every key with its value.
+        digest: Digest of the whole tree.
+        edits: Keys of this part with their values.
+        part: Number of this part, from 0.
+        parts: How many parts the tree has.
     """
 
     sender: VmId
     revision: int
     digest: str
     edits: tuple[Edit, ...]
+    part: int = 0
+    parts: int = 1
 
 
 class Current(NamedTuple):
--- a/libs/settings/tests/test_distribution.py
+++ b/libs/settings/tests/test_distribution.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from kumquatmux_settings.assembly import cut
 from kumquatmux_settings.change import Edit
 from kumquatmux_settings.copy_events import (
     Accepted,
@@ -96,9 +97,14 @@
 
 
 @settings(max_examples=150)
-@given(STEPS, st.sampled_from([NODES, NODES[:1], []]), st.integers(1, 3))
-def test_no_copy_reverts_and_all_converge(steps, children, history):
-    net = Network(children, history_limit=history)
+@given(
+    STEPS,
+    st.sampled_from([NODES, NODES[:1], []]),
+    st.integers(1, 3),
+    st.integers(1, 3),
+)
+def test_no_copy_reverts_and_all_converge(steps, children, history, part_keys):
+    net = Network(children, history_limit=history, part_keys=part_keys)
     for step, value in steps:
         net.now += 0.4
         if step == "accept":
@@ -167,6 +173,29 @@
     assert told == [InForce(1, tree.digest, (Edit("a", "2"),))]
 
 
+def test_a_tree_in_parts_is_taken_once_it_is_whole():
+    values = {str(number): "0" for number in range(5)}
+    whole = Snapshot(CONTROL, 3, digest_of(values), ())
+    parts = cut(whole, values, 2)
+    assert [len(part.edits) for part in parts] == [2, 2, 1]
+    member = copy("entry-1")
+    other = parts[2]._replace(sender="entry-2")
+    for part in (parts[1], other, parts[2], parts[2], parts[1]):
+        assert member.handle(Received(part), 0.0) == []
+    (in_force,) = member.handle(Received(parts[0]), 0.0)
+    assert (in_force.revision, member.values) == (3, values)
+
+
+def test_parts_that_still_come_hold_back_the_next_request():
+    member = copy("entry-1")
+    parts = cut(Snapshot(CONTROL, 3, "f" * 32, ()), {"a": "1", "b": "2"}, 1)
+    member.handle(PeerRevision(CONTROL, 3), 0.0)
+    member.handle(Received(parts[0]), 0.9)
+    assert member.handle(Tick(), 1.5) == []
+    (again,) = member.handle(Tick(), 2.0)
+    assert again.vm == CONTROL
+
+
 def test_an_unanswered_request_goes_to_another_peer():
     member = copy("entry-1")
     (first,) = member.handle(PeerRevision("entry-2", 4), 0.0)
