Reach a peer while its key is being replaced

A link was opened with a peer's first key only, so between the peer's restart and that of the others everything sent to it was lost. There is now a link for each accepted key, and the one the peer runs with comes up.

--- a/libs/daemons/src/kumquatmux_daemons/transport/links.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/links.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from itertools import chain
 from typing import Any, NamedTuple
 
 import trio
@@ -35,7 +36,8 @@
     Attributes:
         vm: Its name.
         control: Its TCP endpoint.
-        public_keys: CURVE keys it may use, in Z85; the first one is used to reach it.
+        public_keys: CURVE keys it may use, in Z85; while keys are replaced there is
+            a link for each, and the one it runs with comes up.
     """
 
     vm: VmId
@@ -79,7 +81,10 @@
         self.authenticator.configure_curve_callback(credentials_provider=self)
         self.authenticator.start()
         self.inbox = self._bind()
-        self.outboxes = {peer.vm: self._connect(peer) for peer in settings.peers}
+        self.outboxes = {
+            peer.vm: [self._connect(peer, key) for key in peer.public_keys]
+            for peer in settings.peers
+        }
 
     def callback(self, domain: str, key: bytes) -> bool:
         """Tell libzmq whether a client key is a peer's."""
@@ -97,13 +102,11 @@
         Returns:
             Whether the message was handed to the link; it may still be lost.
         """
-        outbox = self.outboxes.get(vm)
-        if outbox is None:
+        outboxes = self.outboxes.get(vm)
+        if outboxes is None:
             return False
         data = self.registry.encode(message)
-        try:
-            outbox.send(data, zmq.DONTWAIT)
-        except zmq.Again:
+        if not any(_is_taken(outbox, data) for outbox in outboxes):
             self.refused["link-down"] += 1
             return False
         self.sent_bytes[type(message).__name__] += len(data)
@@ -127,8 +130,9 @@
 
     def close(self) -> None:
         """Close every socket; nothing queued is kept."""
-        for socket in (self.inbox, *self.outboxes.values()):
-            socket.close(0)
+        self.inbox.close(0)
+        for outbox in chain.from_iterable(self.outboxes.values()):
+            outbox.close(0)
         self.authenticator.stop()
         self.context.destroy(0)
 
@@ -160,11 +164,11 @@
         socket.bind(f"tcp://{self.settings.bind}")
         return socket
 
-    def _connect(self, peer: LinkPeer) -> zmq.Socket:
+    def _connect(self, peer: LinkPeer, key: str) -> zmq.Socket:
         socket = self.context.socket(zmq.DEALER)
         _configure(socket, self.settings.secret_key)
         socket.immediate = 1
-        socket.curve_serverkey = peer.public_keys[0].encode()
+        socket.curve_serverkey = key.encode()
         socket.connect(f"tcp://{peer.control}")
         return socket
 
@@ -212,5 +216,13 @@
     socket.curve_publickey = zmq.curve_public(secret_key.encode())
 
 
+def _is_taken(outbox: zmq.Socket, data: bytes) -> bool:
+    try:
+        outbox.send(data, zmq.DONTWAIT)
+    except zmq.Again:
+        return False
+    return True
+
+
 def _vm_by_key(peers: tuple[LinkPeer, ...]) -> dict[str, VmId]:
     return {key: peer.vm for peer in peers for key in peer.public_keys}
--- a/libs/daemons/tests/test_links.py
+++ b/libs/daemons/tests/test_links.py
@@ -67,6 +67,23 @@
                 )
 
 
+async def test_a_peer_is_reached_before_and_after_its_key_is_replaced():
+    a_settings, b_settings = make_pair()
+    old_key = a_settings.peers[0].public_keys[0]
+    new_key, new_secret = (key.decode() for key in zmq.curve_keypair())
+    both = a_settings.peers[0]._replace(public_keys=(new_key, old_key))
+    a_settings = a_settings._replace(peers=(both,))
+    with trio.fail_after(WAIT_S):
+        async with open_links(a_settings, all_messages()) as a:
+            for secret in (b_settings.secret_key, new_secret):
+                b_running = b_settings._replace(secret_key=secret)
+                async with open_links(b_running, all_messages()) as b:
+                    await send_until_taken(a, VmId("b"), LeaseRequest(VmId("a")))
+                    assert (await b.receive()).sender == "a"
+                    await send_until_taken(b, VmId("a"), LeaseRequest(VmId("b")))
+                    assert (await a.receive()).sender == "b"
+
+
 async def test_sending_to_a_peer_that_is_down_is_told_and_queues_nothing():
     a_settings, _ = make_pair()
     async with open_links(a_settings, all_messages()) as a:
