Mend four faults of views and leases found by scenario tests

Cause: directed tests of cuts, pauses, clock jumps and restarts. Change: (1) a holder's restart marks the servers for review, before they stayed fresh; (2) a peer kept by a probe still gets every heartbeat, before it got one in four and was lost although the path had healed; (3) echoes of stamps sent before a pause no longer end the suspension; (4) a suspended VM no longer tells its peers that it refuses them, before a pause of 1 s took it out of all views.

--- a/libs/lab/src/kumquatmux_lab/faultruns/membership_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/membership_world.py
@@ -95,6 +95,8 @@
         incarnations: The incarnations it has used.
         usable: Whether the view may be acted on.
         view: The latest view.
+        lost: The VMs it lost, one entry each time.
+        suspensions: How often the view was suspended.
         servers: The latest fresh servers.
     """
 
@@ -104,6 +106,8 @@
         self.incarnations: tuple[int, ...] = (me.incarnation,)
         self.usable = False
         self.view: tuple[Vm, ...] = ()
+        self.lost: list[VmId] = []
+        self.suspensions = 0
         self.servers: tuple[Lease, ...] = ()
 
 
@@ -149,6 +153,12 @@
         self.order = itertools.count()
         self.processes = itertools.count(1)
 
+    def process(self, name: VmId) -> Process:
+        """Return the process of a VM that runs."""
+        process = self.machines[name].process
+        assert process is not None
+        return process
+
     def after(self, seconds: float, what: Callable[[], None]) -> None:
         """Do something later."""
         heapq.heappush(self.queue, (self.now + seconds, next(self.order), what))
@@ -228,9 +238,11 @@
                     process.incarnations += (incarnation,)
                 case ViewSuspended():
                     process.usable = False
-                case ViewChanged(live=live):
+                    process.suspensions += 1
+                case ViewChanged(live=live, lost=lost):
                     process.usable = True
                     process.view = live
+                    process.lost += lost
                 case ServersChanged(fresh=fresh):
                     process.servers = fresh
                     self._see(machine, process)
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -190,8 +190,8 @@
 
     @_receive.register
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
-        table = self._table(message.sender)
-        if not table.meet(message.incarnation):
+        table = self._met(message.sender, message.incarnation)
+        if table is None:
             return
         if not echoes_us(message, self.me.incarnation, now):
             return
@@ -201,8 +201,8 @@
 
     @_receive.register
     def _receive_update(self, message: LeaseUpdate, now: float) -> None:
-        table = self._table(message.sender)
-        if not table.meet(message.incarnation):
+        table = self._met(message.sender, message.incarnation)
+        if table is None:
             return
         if not table.apply(message):
             self._ask(table, now)
@@ -320,6 +320,15 @@
             table = self.told[vm] = ToldTable(vm)
         return table
 
+    def _met(self, vm: VmId, incarnation: int) -> ToldTable | None:
+        """Return the table of a holder's present process, None for an earlier one."""
+        table = self._table(vm)
+        before = table.incarnation
+        if not table.meet(incarnation):
+            return None
+        self.freshness.dirty |= table.incarnation != before
+        return table
+
     def _ask(self, table: ToldTable, now: float) -> None:
         table.asked = now
         request = LeaseRequest(self.me.vm, table.version, table.incarnation)
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -83,6 +83,7 @@
         self.latest_now = NEVER
         self.latest_stamp = 0.0
         self.suspended_until: float | None = None
+        self.awake_since = NEVER
         self.awaited: set[VmId] = set(self.peers)
         self.probes: list[Probe] = []
         self.probe_number = 0
@@ -126,6 +127,7 @@
         started = gap == float("inf")
         self.suspended_until = now + self.settings.settle_seconds
         self.next_round = now
+        self.awake_since = now
         if started:
             return
         self.awaited = {peer.vm.vm for peer in self.peers.values() if peer.live}
@@ -182,7 +184,8 @@
         peer.heard = message.stamp
         peer.heard_at = now
         peer.introduced = True
-        if echoes_us(message, self.me.incarnation, now):
+        current = echoes_us(message, self.me.incarnation, now)
+        if current and message.echo >= self.awake_since:
             peer.echoed(message.echo)
             self._answer_probes(peer)
         unconfirmed = now - peer.contact > self.settings.remove_seconds
@@ -286,7 +289,7 @@
         self.round += 1
         for peer in self.peers.values():
             silent = now - peer.heard_at > self.settings.remove_seconds
-            if silent and quiet and self.suspended_until is None:
+            if silent and quiet and not peer.live and self.suspended_until is None:
                 continue
             self._send_heartbeat(peer, now)
             if not peer.introduced:
@@ -294,6 +297,7 @@
 
     def _send_heartbeat(self, peer: Peer, now: float) -> None:
         self.latest_stamp = max(now, self.latest_stamp + STAMP_STEP_SECONDS)
+        kept = self.suspended_until is not None and peer.live
         message = Heartbeat(
             sender=self.me.vm,
             incarnation=self.me.incarnation,
@@ -304,7 +308,7 @@
             leases=self.leases,
             leaving=self.leaving,
             echoed=peer.vm.incarnation,
-            refused=not peer.answers(now, self.settings),
+            refused=not (kept or peer.answers(now, self.settings)),
         )
         peer.sent = now
         self._send(peer.vm.vm, message)
--- /dev/null
+++ b/libs/membership/tests/test_membership.py
@@ -0,0 +1,218 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from kumquatmux_core.identity import Endpoint, Vm, VmId, ZoneName
+from kumquatmux_lab.faultruns.membership import make_vms
+from kumquatmux_lab.faultruns.membership_world import NetworkSettings, Tuning, World
+from kumquatmux_membership.events import (
+    Heartbeat,
+    Leave,
+    PeerAhead,
+    PeerLearned,
+    PeersChanged,
+    Received,
+    Tick,
+    ViewChanged,
+)
+from kumquatmux_membership.membership import Membership
+from kumquatmux_membership.settings import MembershipSettings
+
+QUIET = NetworkSettings(loss=0.0, duplicate=0.0, late=0.0, stuck_call=0.0)
+A, B, C = (VmId(f"cnx-a-{number}") for number in range(3))
+
+
+def started(count=3):
+    vms = make_vms((ZoneName("cnx-a"),), count)
+    world = World(vms, 1, Tuning(network=QUIET))
+    for vm in vms:
+        world.start(vm.vm)
+    world.run(3.0)
+    return world
+
+
+def view(world, name):
+    process = world.process(name)
+    return [vm.vm for vm in process.view] if process.usable else None
+
+
+def both(one, other):
+    return {(one, other), (other, one)}
+
+
+def test_a_view_is_not_acted_on_before_the_peers_answer():
+    world = World(make_vms((ZoneName("cnx-a"),), 2), 1, Tuning(network=QUIET))
+    world.start(A)
+    world.run(1.0)
+    assert view(world, A) is None
+    world.run(3.0)
+    assert view(world, A) == [A]
+
+
+def test_a_dead_vm_is_lost_within_3_seconds():
+    world = started()
+    world.stop(C)
+    world.run(world.now + 3.0)
+    for name in (A, B):
+        assert view(world, name) == [A, B]
+        assert world.process(name).lost == [C]
+
+
+def test_a_graceful_leave_is_no_loss():
+    world = started()
+    world.deliver(world.machines[C], Leave())
+    world.run(world.now + 0.1)
+    assert view(world, A) == [A, B]
+    world.stop(C)
+    world.run(world.now + 20)
+    assert view(world, A) == [A, B]
+    assert world.process(A).lost == []
+
+
+@pytest.mark.parametrize("wall_offset_ms", [0, -60_000])
+def test_a_restarted_vm_is_lost_and_back_with_a_higher_incarnation(wall_offset_ms):
+    world = started()
+    before = world.process(C).incarnations[-1]
+    world.stop(C)
+    world.run(world.now + 0.3)
+    world.machines[C].wall_offset_ms = wall_offset_ms
+    world.start(C)
+    world.run(world.now + 5)
+    for name in (A, B):
+        assert world.process(name).lost == [C]
+        assert view(world, name) == [A, B, C]
+        assert world.process(name).view[2].incarnation > before
+
+
+def test_two_raised_incarnations_of_one_vm_differ():
+    raised = set()
+    for _ in range(2):
+        world = started(2)
+        world.random = Random(len(raised))
+        world.stop(B)
+        world.machines[B].wall_offset_ms = -60_000
+        world.start(B)
+        world.run(world.now + 5)
+        raised.add(world.process(B).incarnations[-1])
+    assert len(raised) == 2
+
+
+def test_a_one_way_cut_takes_the_pair_out_on_both_sides():
+    world = started()
+    world.cut = {(A, B)}
+    world.run(world.now + 6)
+    assert view(world, A) == [A, C]
+    assert view(world, B) == [B, C]
+    assert view(world, C) == [A, B, C]
+    world.cut.clear()
+    world.run(world.now + 5)
+    assert [view(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
+
+
+def test_a_short_cut_is_bridged_by_a_probe_through_a_third_vm():
+    lost = []
+    for count in (2, 3):
+        world = started(count)
+        world.cut = both(A, B)
+        world.run(world.now + 2.4)
+        world.cut.clear()
+        world.run(world.now + 3.0)
+        lost.append(world.process(A).lost)
+    assert lost == [[B], []]
+
+
+def test_a_long_cut_heals_although_the_rounds_are_in_step():
+    world = started(2)
+    world.cut = both(A, B)
+    world.run(world.now + 300)
+    assert view(world, A) == [A]
+    world.cut.clear()
+    world.run(world.now + 5)
+    assert [view(world, A), view(world, B)] == [[A, B]] * 2
+
+
+@pytest.mark.parametrize("pause_seconds", [1.5, 5.0, 300.0])
+def test_a_paused_vm_hears_its_peers_before_it_acts(pause_seconds):
+    world = started()
+    world.machines[C].paused = True
+    world.run(world.now + pause_seconds)
+    world.resume(C)
+    assert view(world, C) is None
+    world.run(world.now + 5)
+    assert [view(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
+    assert world.process(C).lost == []
+
+
+@pytest.mark.parametrize("jump_seconds", [-30.0, -0.5, 2.0, 100.0])
+def test_a_clock_jump_suspends_the_view_and_harms_nobody_else(jump_seconds):
+    world = started()
+    world.machines[C].offset += jump_seconds
+    world.run(world.now + 5)
+    assert world.process(C).suspensions == 1
+    assert [view(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
+    assert world.process(A).lost == []
+
+
+def test_a_flapping_peer_stays_out_longer_each_time_up_to_a_bound():
+    world = started(2)
+    waits = []
+    for _ in range(6):
+        world.cut = both(A, B)
+        world.run(world.now + 4)
+        world.cut.clear()
+        healed = world.now
+        while view(world, A) != [A, B]:
+            world.run(world.now + 0.1)
+        waits.append(world.now - healed)
+    assert waits[0] < 2 < waits[3]
+    assert max(waits) < MembershipSettings().hold_max_seconds + 1
+
+
+def joiner():
+    endpoint = Endpoint("127.1.9.9", 7000)
+    return Vm(VmId("cnx-a-9"), ZoneName("cnx-a"), endpoint, endpoint, 5)
+
+
+def test_a_vm_that_knows_one_peer_joins_them_all():
+    world = started()
+    new = joiner()
+    vms = world.vms
+    world.machines[new.vm] = type(world.machines[A])(new, 1.0)
+    world.vms = (vms[0],)
+    world.start(new.vm)
+    world.run(world.now + 4)
+    for name in (A, B, C, new.vm):
+        assert view(world, name) == [A, B, C, new.vm]
+
+
+def test_an_unknown_sender_is_not_heard_until_it_says_hello():
+    me, other = make_vms((ZoneName("cnx-a"),), 2)
+    membership = Membership(me, (), MembershipSettings(), Random(1))
+    beat = Heartbeat(other.vm, 5, 1.0, 0.0, 9, "", 0)
+    actions = membership.handle(Received(beat), 10.0)
+    assert not any(isinstance(one, PeerLearned | PeerAhead) for one in actions)
+
+
+def test_settings_add_and_remove_peers():
+    me, other = make_vms((ZoneName("cnx-a"),), 2)
+    membership = Membership(me, (), MembershipSettings(), Random(1))
+    first = membership.handle(Tick(), 10.0)
+    assert ViewChanged((me,), ()) in first
+    added = membership.handle(PeersChanged((me, other)), 10.1)
+    assert PeersChanged((other,)) in added
+    removed = membership.handle(PeersChanged((me,)), 10.2)
+    assert PeersChanged(()) in removed
+
+
+def test_a_peer_ahead_in_settings_is_named_and_old_heartbeats_are_not():
+    me, other = make_vms((ZoneName("cnx-a"),), 2)
+    membership = Membership(me, (other,), MembershipSettings(), Random(1))
+    membership.note_settings(4, "x")
+    beat = Heartbeat(other.vm, 1, 7.0, 0.0, 5, "y", 0)
+    ahead = PeerAhead(other.vm, 5)
+    assert ahead in membership.handle(Received(beat), 10.0)
+    assert ahead not in membership.handle(Received(beat), 10.1)
+    older = beat._replace(incarnation=0, stamp=8.0)
+    assert ahead not in membership.handle(Received(older), 10.2)
--- /dev/null
+++ b/libs/membership/tests/test_wire.py
@@ -0,0 +1,42 @@
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kumquatmux_core.identity import Endpoint, Vm, VmId, ZoneName
+from kumquatmux_membership import Coordinator, LeaseSettings, MembershipSettings
+from kumquatmux_membership.events import Received, Tick
+from kumquatmux_membership.wire import MESSAGE_KINDS, MESSAGES
+
+ENDPOINT = Endpoint("127.0.0.1", 1)
+VMS = tuple(
+    Vm(VmId(name), ZoneName("cnx-a"), ENDPOINT, ENDPOINT) for name in ("", "a", "b")
+)
+NUMBERS = st.integers(-(2**63), 2**64 - 1)
+st.register_type_strategy(int, st.one_of(NUMBERS, st.integers(0, 3)))
+st.register_type_strategy(str, st.text(alphabet="ab", max_size=2))
+MESSAGE = st.one_of([st.from_type(kind) for kind in MESSAGE_KINDS.values()])
+
+
+@given(MESSAGE)
+def test_every_message_survives_the_trip(message):
+    decoded = MESSAGES.decode(MESSAGES.encode(message)).ok
+    assert repr(decoded) == repr(message)
+
+
+@settings(max_examples=200)
+@given(st.lists(MESSAGE, max_size=8))
+def test_no_message_of_a_peer_crashes_the_coordinator(messages):
+    coordinator = Coordinator(
+        VMS[0], VMS, MembershipSettings(), LeaseSettings(), Random(1)
+    )
+    for second, message in enumerate(messages):
+        coordinator.handle(Received(message), float(second) / 2)
+        coordinator.handle(Tick(), float(second) / 2)
+
+
+@given(st.binary(max_size=64))
+def test_no_bytes_crash_the_decoder(data):
+    assert MESSAGES.decode(b"\x01\x02" + data) is not None
