Check only what a change touches

Measured with scripts/measure_settings.py: validating one change in a tree of 24,000 services took 4,007 ms on each control VM, which stalls its loop past the log's clock gap. Defaults and prefixes are kept, and all services come into force in 852 ms instead of 1,618.

400 hypothesis runs hold the partial check to the whole one.

--- a/libs/settings/src/kumquatmux_settings/options.py
+++ b/libs/settings/src/kumquatmux_settings/options.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 import re
-from functools import singledispatch
+from functools import cache, singledispatch
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -199,6 +199,7 @@
     return Ok(Path(value))
 
 
+@cache
 def default_of(option: Any) -> Any:
     """Return an option's default as its Python type, None if it has none."""
     if option.default is None:
--- a/libs/settings/src/kumquatmux_settings/schema.py
+++ b/libs/settings/src/kumquatmux_settings/schema.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import cache
 from typing import NamedTuple
 
 from kumquatmux_settings.options import (
@@ -34,7 +35,12 @@
 
     def option(self, name: str) -> Option | None:
         """Return the option of a name, None without one."""
-        return next((option for option in self.options if option.name == name), None)
+        return _options_of(self).get(name)
+
+
+@cache
+def _options_of(section: Section) -> dict[str, Option]:
+    return {option.name: option for option in section.options}
 
 
 ZONE = Section(
--- a/libs/settings/src/kumquatmux_settings/tree.py
+++ b/libs/settings/src/kumquatmux_settings/tree.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from functools import lru_cache
 from typing import Any, NamedTuple, TypeVar
 
 from expression import Error, Ok, Result
@@ -11,6 +12,7 @@
 from kumquatmux_core.identity import Endpoint, ServiceName, ZoneName
 from kumquatmux_core.problems import Problem
 from kumquatmux_core.segments import PROTOCOL_TCP, PROTOCOL_UDP
+from kumquatmux_settings.change import Edit
 from kumquatmux_settings.options import check, default_of
 from kumquatmux_settings.paths import Place, parse_path
 from kumquatmux_settings.schema import SECTION_BY_NAME, SERVICE, ZONE
@@ -19,6 +21,7 @@
 """JSON text by dotted key, as the replicated log holds it."""
 
 BUILT_IN = "built-in"
+PREFIXES_KEPT = 1024
 PROTOCOL_NUMBERS = {"tcp": PROTOCOL_TCP, "udp": PROTOCOL_UDP}
 
 Settings = TypeVar("Settings", bound=tuple)
@@ -128,11 +131,11 @@
         zone: Availability zone; empty for none.
         service: Service; empty for none.
     """
-    for place in levels_of(section, name, zone, service):
-        text = values.get(place.path)
-        if text is not None:
-            return read_value(place, text).default_with(_broken)
     option = SECTION_BY_NAME[section].option(name)
+    for prefix in _prefixes(section, zone, service):
+        text = values.get(prefix + name)
+        if text is not None:
+            return check(option, json.loads(text)).default_with(_broken)
     return default_of(option)
 
 
@@ -207,6 +210,13 @@
     return tuple(ZoneName(name) for name in _declared(values, "zones", "region"))
 
 
+def service_of(values: Values, name: str) -> Service | None:
+    """Return one declared service, None if it is not declared."""
+    if f"services.{name}.address" not in values:
+        return None
+    return _service(values, name)
+
+
 def services(values: Values) -> tuple[Service, ...]:
     """Return the declared services."""
     names = _declared(values, "services", "address")
@@ -218,6 +228,17 @@
     return resolve(values, "traffic", TrafficRules((), ()), zone, service)
 
 
+def affected_services(edits: Iterable[Edit]) -> frozenset[str] | None:
+    """Return the services whose settings some edits may change, None for all."""
+    names = set()
+    for edit in edits:
+        place = parse_path(edit.path)
+        if place.is_error() or not place.ok.service:
+            return None
+        names.add(place.ok.service)
+    return frozenset(names)
+
+
 def _service(values: Values, name: str) -> Service:
     def own(option: str) -> Any:
         return value_in_force(values, SERVICE.name, option, service=name)
@@ -233,13 +254,21 @@
 
 
 def _declared(values: Values, kind: str, declaring: str) -> list[str]:
-    parts = (path.split(".") for path in values)
-    return sorted(
-        part[1]
-        for part in parts
-        if len(part) == 3 and part[0] == kind and part[2] == declaring
+    head, tail = f"{kind}.", f".{declaring}"
+    names = (
+        path[len(head) : -len(tail)]
+        for path in values
+        if path.endswith(tail) and path.startswith(head)
     )
+    return sorted(name for name in names if name and "." not in name)
+
+
+@lru_cache(maxsize=PREFIXES_KEPT)
+def _prefixes(section: str, zone: str, service: str) -> tuple[str, ...]:
+    """Return what stands before an option's name at each level, nearest first."""
+    places = levels_of(section, "", zone, service)
+    return tuple(place.path for place in places)
 
 
-def _broken(problem: Problem) -> Any:
-    raise AssertionError(f"an accepted tree holds a refused value: {problem}")
+def _broken(reason: str) -> Any:
+    raise AssertionError(f"an accepted tree holds a value that {reason}")
--- a/libs/settings/src/kumquatmux_settings/validate.py
+++ b/libs/settings/src/kumquatmux_settings/validate.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from itertools import product
 from typing import Any, NamedTuple
 
@@ -13,12 +13,15 @@
     Service,
     Values,
     read_value,
+    service_of,
     services,
     value_in_force,
     zones,
 )
 
 ZONE_LISTS = frozenset({("service", "zones"), ("traffic", "server_zones")})
+DECLARING = (".region", ".address")
+IDENTITY = frozenset({"address", "protocol"})
 
 
 class _Item(NamedTuple):
@@ -31,14 +34,36 @@
 
     Args:
         values: The whole tree as it would be.
-        previous: The tree it replaces, None for none.
+        previous: The tree it replaces, None for none. It was accepted, so only what
+            differs from it is looked at.
 
     Returns:
         Problems that name key, value and reason.
     """
-    problems: list[Problem] = []
+    old = previous or {}
+    changed = {path for path, text in values.items() if old.get(path) != text}
+    removed = old.keys() - values.keys()
+    if any(path.endswith(DECLARING) for path in removed):
+        changed = set(values)
     items: list[_Item] = []
-    for path in sorted(values):
+    problems = _read(values, changed, items)
+    if not problems:
+        problems = list(_references(values, items))
+    if problems:
+        return problems
+    touched = [item.place for item in items]
+    touched += [place.ok for place in map(parse_path, removed) if place.is_ok()]
+    problems += _tokens(values, touched)
+    problems += _addresses(values, touched)
+    problems += _order(values, touched)
+    problems += _removals(values, old, touched)
+    return problems
+
+
+def _read(values: Values, paths: Iterable[str], items: list[_Item]) -> list[Problem]:
+    """Read some keys into items and return what is wrong with them."""
+    problems = []
+    for path in sorted(paths):
         parsed = parse_path(path)
         if parsed.is_error():
             problems.append(parsed.error)
@@ -48,26 +73,17 @@
             problems.append(read.error)
             continue
         items.append(_Item(parsed.ok, read.ok))
-    if problems:
-        return problems
-    problems.extend(_references(values, items))
-    if problems:
-        return problems
-    problems.extend(_services(values))
-    problems.extend(_order(values, items))
-    problems.extend(_removals(values, previous or {}))
     return problems
 
 
 def _references(values: Values, items: list[_Item]) -> Iterator[Problem]:
     """Refuse zones and services that nothing declares."""
     known_zones = set(zones(values))
-    known_services = {service.service for service in services(values)}
     for place, value in items:
         if place.zone and place.zone not in known_zones:
             detail = f"zone {place.zone} has no region, so it is not declared"
             yield Problem("unknown-zone", detail, place.path)
-        if place.service and place.service not in known_services:
+        if place.service and f"services.{place.service}.address" not in values:
             detail = f"service {place.service} has no address, so it is not declared"
             yield Problem("unknown-service", detail, place.path)
         if (place.section, place.name) in ZONE_LISTS:
@@ -75,30 +91,39 @@
                 yield Problem("unknown-zone", f"zone {zone} is unknown", place.path)
 
 
-def _services(values: Values) -> Iterator[Problem]:
-    """Refuse a service without tokens and two services at one address."""
+def _tokens(values: Values, touched: list[Place]) -> Iterator[Problem]:
+    """Refuse a service without tokens."""
+    names = {place.service for place in touched if place.section == SERVICE.name}
+    for name in sorted(names):
+        service = service_of(values, name)
+        if service is not None and not service.announce_token_hashes:
+            detail = "without a token nobody could announce a server for the service"
+            path = f"services.{name}.announce_token_hashes"
+            yield Problem("token-missing", detail, path)
+
+
+def _addresses(values: Values, touched: list[Place]) -> Iterator[Problem]:
+    """Refuse two services at one address."""
+    if not any(_is_identity(place) for place in touched):
+        return
     owners: dict[tuple[Any, int], Service] = {}
     for service in services(values):
-        path = f"services.{service.service}"
-        if not service.announce_token_hashes:
-            detail = "without a token nobody could announce a server for the service"
-            yield Problem("token-missing", detail, f"{path}.announce_token_hashes")
         key = (service.address, service.protocol)
         other = owners.setdefault(key, service)
         if other is not service:
             detail = f"{service.address} already belongs to service {other.service}"
-            yield Problem("address-shared", detail, f"{path}.address")
+            path = f"services.{service.service}.address"
+            yield Problem("address-shared", detail, path)
 
 
-def _order(values: Values, items: list[_Item]) -> Iterator[Problem]:
+def _order(values: Values, touched: list[Place]) -> Iterator[Problem]:
     """Refuse options that stand the wrong way round for some zone and service."""
     for rule in ORDERED:
-        names = (rule.lower, rule.upper)
-        places = [
-            place
-            for place, _ in items
-            if place.section == rule.section and place.name in names
-        ]
+        if not any(_is_in(place, rule) for place in touched):
+            continue
+        tails = tuple(f".{rule.section}.{n}" for n in (rule.lower, rule.upper))
+        paths = (path for path in values if path.endswith(tails))
+        places = [parse_path(path).ok for path in paths]
         zone_names = {place.zone for place in places} | {""}
         service_names = {place.service for place in places} | {""}
         for zone, service in product(sorted(zone_names), sorted(service_names)):
@@ -116,17 +141,23 @@
         yield Problem("order", detail, place.path)
 
 
-def _removals(values: Values, previous: Values) -> Iterator[Problem]:
+def _removals(
+    values: Values, previous: Values, touched: list[Place]
+) -> Iterator[Problem]:
     """Refuse to take an address from a service that still takes new flows."""
-    now = {service.service: service for service in services(values)}
-    for old in services(previous):
-        if not old.is_open:
+    names = {place.service for place in touched if _is_identity(place)}
+    for name in sorted(names):
+        old, new = service_of(previous, name), service_of(values, name)
+        if old is None or not old.is_open:
             continue
-        new = now.get(old.service)
-        path = f"services.{old.service}.address"
-        if new is None:
-            detail = f"{old.address} is in use; set {SERVICE.name}s.{old.service}"
-            yield Problem("in-use", f"{detail}.admission to closed first", path)
-        elif (new.address, new.protocol) != (old.address, old.protocol):
-            detail = f"{old.address} is in use; set {SERVICE.name}s.{old.service}"
-            yield Problem("in-use", f"{detail}.admission to closed first", path)
+        if new is None or (new.address, new.protocol) != (old.address, old.protocol):
+            detail = f"{old.address} is in use; set services.{name}.admission to closed"
+            yield Problem("in-use", f"{detail} first", f"services.{name}.address")
+
+
+def _is_identity(place: Place) -> bool:
+    return place.section == SERVICE.name and place.name in IDENTITY
+
+
+def _is_in(place: Place, rule: Ordered) -> bool:
+    return place.section == rule.section and place.name in (rule.lower, rule.upper)
--- a/libs/settings/tests/test_validate.py
+++ b/libs/settings/tests/test_validate.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from kumquatmux_settings.validate import validate
 
@@ -88,3 +90,25 @@
 )
 def test_a_service_is_closed_before_its_address_goes(previous, values, codes):
     assert [problem.code for problem in validate(values, previous)] == codes
+
+
+MADE = st.dictionaries(
+    st.sampled_from([*GOOD, *[path for path, _, _ in FAULTS]]),
+    st.sampled_from([text for _, text, _ in FAULTS] + list(GOOD.values())),
+    max_size=4,
+)
+
+
+@settings(max_examples=400)
+@given(MADE, st.sets(st.sampled_from(list(GOOD)), max_size=3), MADE)
+def test_what_differs_from_an_accepted_tree_decides_as_the_whole_does(
+    first, dropped, second
+):
+    previous = {**GOOD, **first}
+    if validate(previous):
+        previous = GOOD
+    values = {key: text for key, text in previous.items() if key not in dropped}
+    values.update(second)
+    whole = {(p.code, p.subject) for p in validate(values)}
+    partly = {(p.code, p.subject) for p in validate(values, previous)}
+    assert {one for one in partly if one[0] != "in-use"} == whole
