Bring only the services into force that a change touches

Services, gates and placement settings are now kept and updated by the change's own edits: below 0.05 ms for one option; 1,326 ms only for a change of a zone or of defaults.

--- a/libs/daemons/src/kumquatmux_daemons/entry/node.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/node.py
@@ -13,9 +13,9 @@
 from kumquatmux_daemons.entry.admission_desk import AdmissionDesk
 from kumquatmux_daemons.entry.directory import Directory
 from kumquatmux_daemons.entry.forwarder import Forwarder
+from kumquatmux_daemons.entry.in_force import ServicesInForce
 from kumquatmux_daemons.entry.port import PacketPort
 from kumquatmux_daemons.entry.report import vm_report
-from kumquatmux_daemons.entry.traffic import Gate, gate_of
 from kumquatmux_daemons.reports import DrainAnswer, DrainRequest, ReportRequest
 from kumquatmux_daemons.transport.links import Delivery, PeerLinks
 from kumquatmux_daemons.transport.registry import PlacerDigest
@@ -27,7 +27,6 @@
 from kumquatmux_membership.coordinator import Coordinator
 from kumquatmux_membership.settings import LeaseSettings, MembershipSettings
 from kumquatmux_placement.events import LoadReported
-from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_settings import copy_events
 from kumquatmux_settings.distribution import SettingsCopy
 from kumquatmux_settings.messages import (
@@ -37,7 +36,7 @@
     Snapshot,
 )
 from kumquatmux_settings.messages import Message as SettingsMessage
-from kumquatmux_settings.tree import Service, resolve, services, traffic_rules
+from kumquatmux_settings.tree import resolve
 
 DIGEST_PERIOD_S = 0.25
 FAILURES_KEPT = 10
@@ -77,6 +76,7 @@
         self.engine = FlowEngine(parts.me.vm, FlowSettings(), parts.random)
         self.desk = AdmissionDesk(parts.random)
         self.directory = Directory()
+        self.in_force = ServicesInForce(self.zone)
         self.coordinator = Coordinator(
             parts.me,
             parts.peers,
@@ -263,29 +263,17 @@
     @perform.register
     def _(self, action: copy_events.InForce, now: float) -> None:
         self.coordinator.note_settings(action.revision, action.digest)
-        in_force = services(self.copy.values)
+        touched = self.in_force.update(self.copy.values, action)
+        in_force = tuple(self.in_force.services.values())
         self.directory.use_services(action.revision, in_force)
+        self.directory.use_gates(self.in_force.gates)
+        self.desk.use_gates(self.in_force.gates)
         self.use_engine_settings()
-        gates = {each.service: self.gate(each) for each in in_force}
-        self.directory.use_gates(gates)
-        self.desk.use_gates(gates)
-        for service in in_force:
-            placement = resolve(
-                self.copy.values,
-                "placement",
-                PlacementSettings(zone=self.zone, revision=action.revision),
-                self.zone,
-                service.service,
-            )
-            self.desk.use_settings(service.service, placement)
+        for name in touched:
+            self.desk.use_settings(name, self.in_force.placement[name])
         self.spread_servers(now)
         self.desk.take_over(self.owned(), now)
 
-    def gate(self, service: Service) -> Gate:
-        """Return the traffic rules of a service on this VM."""
-        rules = traffic_rules(self.copy.values, self.zone, service.service)
-        return gate_of(service, rules)
-
     def use_engine_settings(self) -> None:
         """Bring this zone's settings into force in the engines, as they run."""
         values, zone = self.copy.values, self.zone
--- a/scripts/measure_settings.py
+++ b/scripts/measure_settings.py
@@ -10,9 +10,10 @@
 import sys
 import time
 import tracemalloc
-from typing import Any, NamedTuple
+from typing import Any
 
 from kumquatmux_core import decisions
+from kumquatmux_daemons.entry.in_force import ServicesInForce
 from kumquatmux_daemons.transport.registry import all_messages
 from kumquatmux_settings.assembly import cut
 from kumquatmux_settings.change import Edit
@@ -21,6 +22,7 @@
     ChildrenChanged,
     Confirmed,
     DistributionSettings,
+    InForce,
     PeerRevision,
     Received,
     SendMessage,
@@ -28,7 +30,6 @@
 from kumquatmux_settings.digest import digest_of
 from kumquatmux_settings.distribution import SettingsCopy
 from kumquatmux_settings.messages import Current, Delta, DeltaRequest, Snapshot
-from kumquatmux_settings.tree import Service, resolve, services, traffic_rules
 from kumquatmux_settings.validate import validate
 
 SEED = 1
@@ -81,8 +82,8 @@
     print(
         " apply a delta, us | validate whole, ms | a change, ms | a move, ms |", end=""
     )
-    print(" list services, ms | all in force, ms | one in force, ms |")
-    print("|" + "---|" * 12)
+    print(" all in force, ms | a change in force, ms |")
+    print("|" + "---|" * 11)
     for count in (2, 240, 2_400, 24_000):
         tree_cost(count)
 
@@ -114,15 +115,18 @@
     assert member.revision == 101
     changed = {**values, "services.service-1.placement.hold_ms": "1"}
     moved = {**changed, "services.service-1.address": '"10.9.9.9:80"'}
+    in_force = ServicesInForce("zone-1")
+    everything = InForce(1, "", (Edit("defaults.placement.hold_ms", "1"),))
+    one_key = InForce(2, "", (Edit("services.service-1.placement.hold_ms", "1"),))
+    in_force.update(values, everything)
     costs_ms = [
         seconds_of(action) * 1e3
         for action in (
             lambda: validate(values),
             lambda: validate(changed, values),
             lambda: validate(moved, values),
-            lambda: services(values),
-            lambda: bring_into_force(values, services(values)),
-            lambda: bring_into_force(values, services(values)[:1]),
+            lambda: ServicesInForce("zone-1").update(values, everything),
+            lambda: in_force.update(values, one_key),
         )
     ]
     sizes = f"{sum(parts)} | {max(parts)} | {held_mb:.2f}"
@@ -130,17 +134,6 @@
     print(f"| {count} | {len(values)} | {sizes} | {apply_us:.0f} | {costs} |")
 
 
-class Placement(NamedTuple):
-    hold_ms: float = 0.0
-    link_cost_ms: float = 0.0
-
-
-def bring_into_force(values: dict[str, str], chosen: tuple[Service, ...]) -> None:
-    for service in chosen:
-        traffic_rules(values, "zone-1", service.service)
-        resolve(values, "placement", Placement(), "zone-1", service.service)
-
-
 class FanOut:
     """Copies in a tree of relays, in virtual time, over links that lose messages."""
 
