--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -121,6 +121,15 @@
         """The term it is in."""
         return self.vote.term
 
+    @property
+    def may_stand(self) -> bool:
+        """Whether it is a voter, or is until its removal is committed.
+
+        Others may need it to lead until then, because its log may be the longest.
+        """
+        agreed = self.log.configuration_at(self.commit)
+        return self.me in self.log.configuration.voters + agreed.voters
+
     def next_election_at(self) -> float:
         """Return a random time at which to stand for election."""
         timeout = self.settings.election_timeout_s
@@ -138,7 +147,7 @@
     def idle_role(self) -> Role:
         """Return the role it has when it neither leads nor stands."""
         configuration = self.log.configuration
-        if self.me in configuration.voters:
+        if self.may_stand:
             return Role.FOLLOWER
         if self.me in configuration.learners:
             return Role.LEARNER
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -164,7 +164,8 @@
         limit = clock - 3 * self.settings.join_period_s
         recent = {who: at for who, at in self.joining.items() if at > limit}
         self.joining = recent
-        return tuple(sorted(who for who in recent if who not in self.progress))
+        members = {*self.progress, self.settings.replica}
+        return tuple(sorted(who for who in recent if who not in members))
 
 
 def _agreed(values: list[float] | list[int], quorum: int) -> float:
--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -61,9 +61,10 @@
 
 
 def _add_learner(current: Configuration, view: MembershipView) -> Configuration | None:
-    learning = {learner.vm for learner in current.learners}
+    present = {learner.vm for learner in current.learners}
+    present |= {voter.vm for voter in current.voters if voter in view.live}
     for joining in view.joining:
-        if joining.vm in current.vms and joining.vm not in learning:
+        if joining.vm in current.vms and joining.vm not in present:
             return current._replace(learners=(*current.learners, joining))
     return None
 
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -58,7 +58,8 @@
         configuration: Who takes part.
         live: Members that answered lately, if it leads.
         has_lease: Whether it may answer reads alone.
-        is_whole: Whether every wanted VM votes, and if it leads, holds all entries.
+        is_whole: Whether every wanted VM votes by a committed configuration, and if
+            it leads, whether they hold all entries. Only then may another disk go.
     """
 
     role: Role
@@ -115,7 +116,8 @@
         configuration = core.log.configuration
         leadership = core.leadership
         voting_vms = sorted(voter.vm for voter in configuration.voters)
-        is_whole = voting_vms == sorted(configuration.vms)
+        is_agreed = core.commit >= core.log.configuration_index
+        is_whole = is_agreed and voting_vms == sorted(configuration.vms)
         live: tuple[ReplicaId, ...] = ()
         has_lease = False
         if leadership is not None:
@@ -147,12 +149,12 @@
         if core.leadership is not None:
             leading.tick(core, core.leadership)
             return
-        is_voter = core.me in core.log.configuration.voters
-        is_alone = core.log.configuration.voters == (core.me,)
-        if is_voter and (is_alone or core.clock >= core.election_at):
-            if core.election is None or core.clock >= core.election_at:
-                voting.stand(core)
-        elif core.role == Role.OUTSIDER and core.clock >= core.join_at:
+        configuration = core.log.configuration
+        is_due = core.clock >= core.election_at
+        is_alone = configuration.voters == (core.me,) and core.election is None
+        if core.may_stand and (is_due or is_alone):
+            voting.stand(core)
+        if self._is_forgotten() and core.clock >= core.join_at:
             self._ask_to_join()
 
     @_on.register
@@ -266,6 +268,16 @@
         needed = min(compacted - oldest, KEPT_SNAPSHOTS * settings.snapshot_entries)
         return max(settings.keep_entries, needed)
 
+    def _is_forgotten(self) -> bool:
+        """Return whether no leader may know this replica.
+
+        Its own log may name it a member by an entry that was never committed.
+        """
+        core = self.core
+        silence_s = core.clock - core.heard_at
+        is_silent = silence_s >= core.settings.election_timeout_s
+        return core.leadership is None and (is_silent or core.role == Role.OUTSIDER)
+
     def _ask_to_join(self) -> None:
         core = self.core
         core.join_at = core.clock + core.settings.join_period_s
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -14,7 +14,7 @@
     Attributes:
         cluster: Name of the cluster; messages of another one are dropped.
         replica: This replica.
-        peers: VMs to ask for admission while outside the configuration.
+        peers: VMs to ask for admission while no leader is heard.
         heartbeat_s: Seconds between heartbeats of a leader.
         election_timeout_s: Seconds without a leader before an election, at least;
             twice as long at most. Nobody votes within it of a leader's message.
