Tell a torn end of the log from a damaged one

Change: only a frame that ends early or lacks whole sectors is cut; a whole frame with a wrong checksum is refused.

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -131,7 +131,7 @@
     if header.is_error():
         return _with_way_out(header.error)
     found = frames.scan(data)
-    if found.later >= 0 or not found.payloads:
+    if found.is_damaged or not found.payloads:
         detail = f"damaged at offset {found.length}"
         return _with_way_out(Problem("log-damaged", detail, LOG))
     base = _decode(found.payloads[0], Base, LOG, frames.HEADER_BYTES)
@@ -144,8 +144,7 @@
     entries = _replay(base.ok, found.payloads[1:])
     if entries.is_error():
         return Error(entries.error)
-    is_torn = found.length < len(data)
-    return Ok(LogFile(base.ok, entries.ok, found.length, is_torn))
+    return Ok(LogFile(base.ok, entries.ok, found.length, found.is_torn))
 
 
 def _synced_length(disk: Disk, generation: int) -> int:
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -19,6 +19,8 @@
 FORMAT_VERSION = 1
 HEADER_BYTES = 8
 FRAME_BYTES_MAX = 1 << 30
+SECTOR_BYTES = 512
+EMPTY_BYTES_MIN = 4
 
 _frame = struct.Struct(">IQ")
 _header = struct.Struct(">4sBBH")
@@ -32,12 +34,14 @@
     Attributes:
         payloads: Their payloads.
         length: Where they end, in bytes.
-        later: Where a sound frame follows after damage, -1 if none does.
+        is_torn: Whether an unfinished write follows them.
+        is_damaged: Whether something else follows them.
     """
 
     payloads: tuple[bytes, ...]
     length: int
-    later: int
+    is_torn: bool = False
+    is_damaged: bool = False
 
 
 def file_header(kind: int) -> bytes:
@@ -70,10 +74,11 @@
     while offset < len(data):
         payload = _payload_at(data, offset)
         if payload is None:
-            return Scan(tuple(payloads), offset, _later_frame(data, offset + 1))
+            is_torn = _is_torn(data, offset)
+            return Scan(tuple(payloads), offset, is_torn, not is_torn)
         payloads.append(payload)
         offset += FRAME_HEADER_BYTES + len(payload)
-    return Scan(tuple(payloads), offset, -1)
+    return Scan(tuple(payloads), offset)
 
 
 def _payload_at(data: bytes, offset: int) -> bytes | None:
@@ -87,11 +92,37 @@
     return payload if _checksum(payload, offset) == checksum else None
 
 
-def _later_frame(data: bytes, start: int) -> int:
-    for offset in range(start, len(data) - FRAME_HEADER_BYTES):
-        if _payload_at(data, offset) is not None:
-            return offset
-    return -1
+def _is_torn(data: bytes, offset: int) -> bool:
+    """Return whether the rest of a file is a write that a crash cut short.
+
+    Such a write ends early, or lacks whole sectors, which read as zeros. A frame
+    that is all there and does not match its checksum was damaged later.
+    """
+    if _has_later_frame(data, offset + 1):
+        return False
+    start = offset + FRAME_HEADER_BYTES
+    if start > len(data):
+        return True
+    length, checksum = _frame.unpack_from(data, offset)
+    if _has_empty_sector(data, offset):
+        return True
+    is_short = length > len(data) - start
+    return is_short and _checksum(data[start:], offset) != checksum
+
+
+def _has_later_frame(data: bytes, start: int) -> bool:
+    places = range(start, len(data) - FRAME_HEADER_BYTES)
+    return any(_payload_at(data, place) is not None for place in places)
+
+
+def _has_empty_sector(data: bytes, start: int) -> bool:
+    while start < len(data):
+        end = min(len(data), (start // SECTOR_BYTES + 1) * SECTOR_BYTES)
+        is_empty = not any(data[start:end])
+        if is_empty and end - start >= EMPTY_BYTES_MIN:
+            return True
+        start = end
+    return False
 
 
 def _checksum(payload: bytes, offset: int) -> int:
--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -5,6 +5,8 @@
 import errno
 from random import Random
 
+SECTOR_BYTES = 512
+
 
 class Crashed(Exception):
     """The process stopped in the middle of an operation on the disk."""
@@ -124,11 +126,16 @@
 
 
 def _torn(file: MemoryFile, random: Random) -> bytes:
+    """Return what a crash leaves of a file: perhaps cut, perhaps lacking sectors."""
     if not file.data.startswith(file.synced):
         return random.choice((file.data, file.synced))
-    tail = file.data[len(file.synced) :]
-    tail = tail[: random.randint(0, len(tail))]
-    if tail and random.random() < 0.3:
-        place = random.randrange(len(tail))
-        tail = tail[:place] + bytes(len(tail) - place)
-    return file.synced + tail
+    length = random.randint(len(file.synced), len(file.data))
+    data = file.data[:length]
+    if random.random() < 0.5:
+        return data
+    first = -(-len(file.synced) // SECTOR_BYTES) * SECTOR_BYTES
+    for start in range(first, length, SECTOR_BYTES):
+        if random.random() < 0.5:
+            end = min(start + SECTOR_BYTES, length)
+            data = data[:start] + bytes(end - start) + data[end:]
+    return data
