--- a/libs/lab/src/kumquatmux_lab/faultruns/settings.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings.py
@@ -96,7 +96,8 @@
     )
     changelog = ChangeLogSettings(outcomes=random.choice((8, 64, 8192)))
     network = NetworkSettings(loss=random.choice((0, 0.02, 0.1)))
-    return Cluster(vms, founders, settings, changelog, network, random)
+    sync_s = random.choice((0.002, 0.05, 0.4))
+    return Cluster(vms, founders, settings, changelog, network, random, sync_s)
 
 
 def _play(cluster: Cluster) -> tuple[Faults, History]:
