--- /dev/null
+++ b/libs/lab/src/kumquatmux_lab/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run by hand and never by the tests."""
--- /dev/null
+++ b/libs/lab/src/kumquatmux_lab/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""A queueing model that drives placement under a simulated clock."""
