--- a/libs/lab/src/kumquatmux_lab/site.py
+++ b/libs/lab/src/kumquatmux_lab/site.py
@@ -18,7 +18,8 @@
 from kumquatmux_settings.change import Edit
 
 REGION = "th-north"
-FABRIC = Endpoint("127.66.0.1", 4500)
+DEFAULT_NETWORK = "127.66.0"
+FABRIC_HOST = 1
 PACKET_KEY_BYTES = 32
 PACKETS_PORT = 4500
 CONTROL_PORT = 4600
@@ -49,6 +50,7 @@
         entries_per_zone: Entry VMs in each zone.
         controls: Control VMs, spread over the zones.
         services: Its services.
+        network: First three numbers of the addresses its processes listen on.
     """
 
     folder: Path
@@ -56,6 +58,12 @@
     entries_per_zone: int
     controls: int
     services: tuple[SiteService, ...]
+    network: str = DEFAULT_NETWORK
+
+    @property
+    def fabric(self) -> Endpoint:
+        """Where the stand-in fabric takes packets."""
+        return Endpoint(f"{self.network}.{FABRIC_HOST}", PACKETS_PORT)
 
 
 class SiteVm(NamedTuple):
@@ -142,7 +150,7 @@
 def write_site(settings: SiteSettings) -> Site:
     """Write the files of every process of a site."""
     settings.folder.mkdir(parents=True, exist_ok=True)
-    vms = tuple(_entry_vms(settings) + _control_vms(settings))
+    vms = planned_vms(settings)
     site = Site(
         settings=settings,
         vms=vms,
@@ -157,11 +165,16 @@
     return site
 
 
+def planned_vms(settings: SiteSettings) -> tuple[SiteVm, ...]:
+    """Return the processes of a site, with fresh keys."""
+    return tuple(_entry_vms(settings) + _control_vms(settings))
+
+
 def _entry_vms(settings: SiteSettings) -> list[SiteVm]:
     vms: list[SiteVm] = []
     for zone in settings.zones:
         for number in range(1, settings.entries_per_zone + 1):
-            ip = f"127.66.0.{FIRST_ENTRY_HOST + len(vms)}"
+            ip = f"{settings.network}.{FIRST_ENTRY_HOST + len(vms)}"
             name = f"{zone}-{number}"
             vms.append(SiteVm(name, zone, "entry", ip, new_curve_pair()))
     return vms
@@ -171,7 +184,7 @@
     vms: list[SiteVm] = []
     for number in range(settings.controls):
         zone = settings.zones[number % len(settings.zones)]
-        ip = f"127.66.0.{FIRST_CONTROL_HOST + number}"
+        ip = f"{settings.network}.{FIRST_CONTROL_HOST + number}"
         name = f"control-{number + 1}"
         vms.append(SiteVm(name, zone, "control", ip, new_curve_pair()))
     return vms
@@ -186,9 +199,9 @@
     site.certificate.write_text(made.certificate)
     write_secret(folder / "site.key", made.key)
     write_secret(folder / "operator.token", site.operator_token)
-    operators = {"name": "demo", "access": "change"}
-    operators["sha256"] = hash_token(site.operator_token)
-    write_secret(folder / "tokens.toml", tomlkit.dumps({"operators": [operators]}))
+    operator = {"operator": "demo", "access": "change"}
+    operator["sha256"] = hash_token(site.operator_token)
+    write_secret(folder / "tokens.toml", tomlkit.dumps({"tokens": [operator]}))
 
 
 def _node_file(site: Site, vm: SiteVm) -> dict[str, object]:
@@ -204,7 +217,7 @@
     }
     if vm.role == "entry":
         fields["packets"] = str(vm.packets)
-        fields["fabric"] = str(FABRIC)
+        fields["fabric"] = str(site.settings.fabric)
         fields["http"] = str(vm.http)
         fields["packet_key_file"] = "packet.key"
     else:
