--- a/libs/daemons/tests/test_control_core.py
+++ b/libs/daemons/tests/test_control_core.py
@@ -85,11 +85,12 @@
             for m in ENTRY
         }
 
-    def start(self, vm, control=CONTROL):
+    def start(self, vm, control=CONTROL, folder_name=None):
+        folder_name = folder_name or f"f-{vm}"
         me = control[vm]
         others = tuple(member for member in control.values() if member != me)
         peers = tuple(member.vm for member in others)
-        replica = ReplicaSettings("site", ReplicaId(vm, f"f-{vm}"), peers)
+        replica = ReplicaSettings("site", ReplicaId(vm, folder_name), peers)
         settings = ControlSettings(replica, me.zone, others, ENTRY)
         folder = self.folders[vm]
         rng = Random(list(control).index(vm))
@@ -232,6 +233,20 @@
     assert site.cores["new-c"].changes.revision == 1
 
 
+def test_a_control_vm_that_lost_its_disk_joins_again_under_its_name(site):
+    leader = site.leader()
+    lost = next(vm for vm in CONTROL if vm != leader)
+    site.ask(leader, change("c1", 0), "t1")
+    site.folders[lost] = Folder(joining_state())
+    site.start(lost, folder_name="f-second")
+    site.run(15.0)
+    assert site.cores[lost].changes.revision == 1
+    status = site.cores[site.leader()].replica.status()
+    assert ReplicaId(lost, "f-second") in status.configuration.voters
+    assert len(status.configuration.voters) == len(CONTROL)
+    assert site.ask(site.leader(), change("c2", 1), "t2").outcome.revision == 2
+
+
 def test_all_restart_with_hundreds_of_changes_and_go_on(site):
     leader = site.leader()
     for number in range(300):
