--- /dev/null
+++ b/libs/agreement/tests/test_log.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+import pytest
+
+from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, Snapshot
+from kumquatmux_agreement.log import Log
+
+FIRST = Configuration(("a",), ())
+SECOND = Configuration(("b",), ())
+
+
+def entry(index, term):
+    return Entry(index, term, EntryKind.DATA, b"12345")
+
+
+def log(*terms):
+    entries = tuple(entry(place, term) for place, term in enumerate(terms, 1))
+    return Log(Snapshot(0, 0, FIRST, b""), entries)
+
+
+def test_a_conflicting_entry_drops_all_that_follow_and_their_configuration():
+    held = log(1, 1)
+    held.append((Entry(3, 1, EntryKind.CONFIGURATION, b"", SECOND),))
+    assert held.configuration == SECOND
+    held.append((entry(2, 2),))
+    assert (held.last_index, held.last_term, held.configuration) == (2, 2, FIRST)
+
+
+@pytest.mark.parametrize("index", [0, 5])
+def test_gaps_and_the_snapshot_are_invariants(index):
+    held = log(1, 1, 1)
+    held.compact(Snapshot(2, 1, FIRST, b""), keep=0)
+    with pytest.raises(AssertionError):
+        held.append((entry(index, 2),))
+
+
+def test_compaction_keeps_a_few_entries_for_slow_followers():
+    held = log(1, 1, 2, 2, 3)
+    held.compact(Snapshot(4, 2, FIRST, b""), keep=2)
+    assert (held.base_index, held.base_term, held.last_index) == (2, 1, 5)
+    assert [held.term_at(index) for index in range(1, 7)] == [None, 1, 2, 2, 3, None]
+
+
+def test_only_the_unknown_part_is_taken():
+    held = log(1, 1, 2)
+    assert held.unknown_part((entry(2, 1), entry(3, 2))) == ()
+    assert held.unknown_part((entry(3, 2), entry(4, 2))) == (entry(4, 2),)
+    assert held.unknown_part((entry(2, 3), entry(3, 3))) == (entry(2, 3), entry(3, 3))
+
+
+def test_a_batch_has_at_least_one_entry():
+    held = log(1, 1, 1)
+    assert len(held.batch(1, 3, size_bytes=1)) == 1
+    assert len(held.batch(1, 3, size_bytes=10)) == 2
+
+
+def test_a_hint_skips_a_whole_term():
+    held = log(1, 2, 2, 2)
+    assert held.conflict_hint(4) == 2
+    assert held.conflict_hint(9) == 5
--- /dev/null
+++ b/libs/agreement/tests/test_membership.py
@@ -0,0 +1,126 @@
+from __future__ import annotations
+
+import pytest
+
+from kumquatmux_agreement.entries import Configuration, ReplicaId
+from kumquatmux_agreement.membership import MembershipView, next_configuration
+
+A, B, C, D, E = (ReplicaId(vm, "1") for vm in "abcde")
+C2 = ReplicaId("c", "2")
+ABC = ("a", "b", "c")
+
+
+def view(live, joining=(), caught_up=()):
+    return MembershipView(A, joining, frozenset(live), frozenset(caught_up))
+
+
+CASES = {
+    "nothing to do": (
+        Configuration(ABC, (A, B, C)),
+        view({A, B, C}),
+        None,
+    ),
+    "a newcomer learns first": (
+        Configuration(ABC, (A,)),
+        view({A}, joining=(B,)),
+        Configuration(ABC, (A,), (B,)),
+    ),
+    "a stranger is not let in": (
+        Configuration(ABC, (A, B, C)),
+        view({A, B, C}, joining=(D,)),
+        None,
+    ),
+    "a learner that is behind waits": (
+        Configuration(ABC, (A,), (B,)),
+        view({A, B}),
+        None,
+    ),
+    "a learner that has caught up votes": (
+        Configuration(ABC, (A,), (B,)),
+        view({A, B}, caught_up={B}),
+        Configuration(ABC, (A, B)),
+    ),
+    "a lost folder stays until its successor is ready": (
+        Configuration(ABC, (A, B, C), (C2,)),
+        view({A, B, C2}),
+        None,
+    ),
+    "a lost folder goes first": (
+        Configuration(ABC, (A, B, C), (C2,)),
+        view({A, B, C2}, caught_up={C2}),
+        Configuration(ABC, (A, B), (C2,)),
+    ),
+    "then its successor votes": (
+        Configuration(ABC, (A, B), (C2,)),
+        view({A, B, C2}, caught_up={C2}),
+        Configuration(ABC, (A, B, C2)),
+    ),
+    "no voter goes when the rest has no majority that answers": (
+        Configuration(ABC, (A, B, C), (C2,)),
+        view({A, C2}, caught_up={C2}),
+        None,
+    ),
+    "an old request to join does not push out a live voter": (
+        Configuration(ABC, (A, B, C2)),
+        view({A, B, C2}, joining=(C,)),
+        None,
+    ),
+    "a learner of a lost folder is dropped": (
+        Configuration(ABC, (A, B), (C,)),
+        view({A, B}, joining=(C2,)),
+        Configuration(ABC, (A, B)),
+    ),
+    "a live VM to be replaced goes last": (
+        Configuration(("a", "b", "d"), (A, B, C), (D,)),
+        view({A, B, C, D}, caught_up={D}),
+        Configuration(("a", "b", "d"), (A, B, C, D)),
+    ),
+    "when its successor votes it goes": (
+        Configuration(("a", "b", "d"), (A, B, C, D)),
+        view({A, B, C, D}),
+        Configuration(("a", "b", "d"), (A, B, D)),
+    ),
+    "a dead VM to be replaced goes first": (
+        Configuration(("a", "b", "d"), (A, B, C), (D,)),
+        view({A, B, D}, caught_up={D}),
+        Configuration(("a", "b", "d"), (A, B), (D,)),
+    ),
+    "a leader that is not wanted goes last of all": (
+        Configuration(("b",), (A, B, C)),
+        view({A, B, C}),
+        Configuration(("b",), (A, B)),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_steps(name):
+    current, seen, expected = CASES[name]
+    assert next_configuration(current, seen) == expected
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_quorums_of_two_configurations_in_a_row_overlap(name):
+    current, _, following = CASES[name]
+    if following is None:
+        return
+    union = set(current.voters) | set(following.voters)
+    assert current.quorum + following.quorum > len(union)
+
+
+@pytest.mark.parametrize(
+    ("vms", "voters", "quorum", "ready"),
+    [
+        (("a",), (A,), 1, True),
+        (ABC, (A,), 1, False),
+        (ABC, (A, B), 2, True),
+        (ABC, (A, B, C), 2, True),
+        (tuple("abcde"), (A, B, C), 3, True),
+        (tuple("abcde"), (A, B, C, D), 3, True),
+        (tuple("abcde"), (A, B, C, D, E), 3, True),
+    ],
+)
+def test_a_quorum_outlives_any_minority_of_the_wanted_vms(vms, voters, quorum, ready):
+    configuration = Configuration(vms, voters)
+    assert configuration.quorum == quorum
+    assert configuration.is_ready == ready
--- /dev/null
+++ b/libs/agreement/tests/test_replica.py
@@ -0,0 +1,454 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from kumquatmux_agreement.entries import (
+    Configuration,
+    DurableState,
+    Entry,
+    EntryKind,
+    ReplicaId,
+    Snapshot,
+    VoteRecord,
+    founding_state,
+    joining_state,
+)
+from kumquatmux_agreement.events import (
+    Apply,
+    ChangeMembership,
+    Outcome,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Propose,
+    Read,
+    Received,
+    Reply,
+    Role,
+    Send,
+    Tick,
+)
+from kumquatmux_agreement.messages import (
+    MESSAGE_TYPES,
+    MESSAGES,
+    AppendReply,
+    AppendRequest,
+    JoinRequest,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from kumquatmux_agreement.replica import Replica
+from kumquatmux_agreement.settings import ReplicaSettings
+from kumquatmux_core.problems import Problem
+
+VMS = ("a", "b", "c")
+A, B, C = (ReplicaId(vm, "1") for vm in VMS)
+THREE = Configuration(VMS, (A, B, C))
+DATA = EntryKind.DATA
+
+
+def entry(index, term, data=b"x"):
+    return Entry(index, term, DATA, data)
+
+
+def state(term=1, voted_for=None, entries=(), configuration=THREE):
+    snapshot = Snapshot(0, 0, configuration, b"")
+    return DurableState(VoteRecord(term, voted_for), snapshot, tuple(entries))
+
+
+class Driver:
+    """One replica whose disk syncs when told to."""
+
+    def __init__(self, me=A, restored=None, **settings):
+        options = ReplicaSettings("lab", me, VMS, **settings)
+        self.replica = Replica(options, restored or state(), Random(1))
+        self.now = 100.0
+        self.unsynced = []
+        self.seen = []
+
+    def give(self, event, after=0.0):
+        self.now += after
+        actions = self.replica.handle(event, self.now)
+        self.unsynced += [one.number for one in actions if isinstance(one, Persist)]
+        self.seen += actions
+        return actions
+
+    def sync(self):
+        while self.unsynced:
+            self.give(Persisted(self.unsynced.pop(0)))
+
+    def tick(self, seconds):
+        for _ in range(round(seconds * 10)):
+            self.give(Tick(), 0.1)
+
+    def sent(self, kind):
+        sends = (one for one in self.seen if isinstance(one, Send))
+        return [one.message for one in sends if isinstance(one.message, kind)]
+
+    def replies(self):
+        return [one for one in self.seen if isinstance(one, Reply)]
+
+    def role(self):
+        return self.replica.status().role
+
+    def answer(self, who, *, round=None, index=None, matched=True):
+        core = self.replica.core
+        number = core.leadership.round if round is None else round
+        last = core.log.last_index if index is None else index
+        reply = AppendReply("lab", who, core.me, core.term, matched, last, number)
+        return self.give(Received(reply))
+
+
+def leader(**settings):
+    """Return a leader whose first entry is committed."""
+    driver = Driver(**settings)
+    driver.tick(4.5)
+    assert driver.role() == Role.CANDIDATE
+    term = driver.replica.core.term
+    driver.give(Received(VoteReply("lab", B, A, term + 1, True, True)))
+    driver.sync()
+    driver.give(Received(VoteReply("lab", B, A, term + 1, False, True)))
+    driver.sync()
+    assert driver.role() == Role.LEADER
+    driver.answer(B)
+    driver.answer(C)
+    driver.seen.clear()
+    return driver
+
+
+def append(
+    term=2, previous=(0, 0), entries=(), commit=0, sender=B, to=A, cluster="lab"
+):
+    return AppendRequest(cluster, sender, to, term, *previous, entries, commit, 1)
+
+
+def ask_vote(term=2, trial=False, last=(9, 9), sender=B, to=A, cluster="lab"):
+    return VoteRequest(cluster, sender, to, term, *last, trial)
+
+
+def test_every_message_survives_the_trip():
+    samples = {
+        VoteRequest: ask_vote(),
+        VoteReply: VoteReply("lab", A, B, 1, True, False),
+        AppendRequest: append(
+            entries=(entry(1, 1), Entry(2, 1, EntryKind.CONFIGURATION, b"", THREE))
+        ),
+        AppendReply: AppendReply("lab", A, B, 1, True, 3, 4),
+        SnapshotChunk: SnapshotChunk("lab", A, B, 1, 9, 1, THREE, 0, 3, b"abc", 2),
+        SnapshotReply: SnapshotReply("lab", A, B, 1, 9, 3, 2),
+        JoinRequest: JoinRequest("lab", A),
+    }
+    assert set(samples) == set(MESSAGE_TYPES.values())
+    for message in samples.values():
+        assert MESSAGES.decode(MESSAGES.encode(message)).ok == message
+
+
+def test_a_follower_acknowledges_only_what_is_synced():
+    follower = Driver()
+    follower.give(Received(append(entries=(entry(1, 2),))))
+    assert follower.sent(AppendReply) == []
+    follower.sync()
+    assert follower.sent(AppendReply)[0].log_index == 1
+
+
+def test_a_vote_is_given_only_once_it_is_synced():
+    voter = Driver()
+    voter.tick(2.5)
+    voter.give(Received(ask_vote()))
+    assert voter.sent(VoteReply) == []
+    voter.sync()
+    assert voter.sent(VoteReply)[0].is_granted
+
+
+def test_a_vote_is_remembered_over_a_restart():
+    voter = Driver()
+    voter.tick(2.5)
+    voter.give(Received(ask_vote(sender=B)))
+    voter.sync()
+    kept = [one.vote for one in voter.seen if isinstance(one, Persist) and one.vote]
+    again = Driver(restored=state()._replace(vote=kept[-1]))
+    again.tick(2.5)
+    again.give(Received(ask_vote(sender=C)))
+    again.sync()
+    assert not again.sent(VoteReply)[0].is_granted
+
+
+@pytest.mark.parametrize(
+    ("name", "restored", "wait_s", "request_", "granted"),
+    [
+        ("free", state(), 2.5, ask_vote(), True),
+        ("trial", state(), 2.5, ask_vote(trial=True), True),
+        ("just started", state(), 0.5, ask_vote(), False),
+        ("old term", state(term=5), 2.5, ask_vote(term=4), False),
+        ("voted for another", state(2, C), 2.5, ask_vote(term=2), False),
+        ("voted for the same", state(2, B), 2.5, ask_vote(term=2), True),
+        (
+            "shorter log",
+            state(entries=[entry(1, 1), entry(2, 1)]),
+            2.5,
+            ask_vote(last=(1, 1)),
+            False,
+        ),
+        (
+            "longer log of an older term",
+            state(2, None, [entry(1, 2)]),
+            2.5,
+            ask_vote(term=3, last=(9, 1)),
+            False,
+        ),
+    ],
+)
+def test_votes(name, restored, wait_s, request_, granted):
+    voter = Driver(restored=restored)
+    voter.tick(wait_s)
+    voter.sync()
+    voter.seen.clear()
+    voter.give(Received(request_))
+    voter.sync()
+    assert [reply.is_granted for reply in voter.sent(VoteReply)] == [granted], name
+
+
+def test_nobody_votes_while_a_leader_is_heard():
+    voter = Driver()
+    voter.tick(2.5)
+    voter.give(Received(append()))
+    voter.give(Received(ask_vote(term=7, sender=C)))
+    voter.sync()
+    assert not voter.sent(VoteReply)[-1].is_granted
+    assert voter.replica.core.term == 2
+
+
+def test_a_jump_of_the_clock_does_not_shorten_the_promise_not_to_vote():
+    voter = Driver()
+    voter.tick(2.5)
+    voter.give(Received(append()))
+    voter.now += 3600
+    voter.give(Received(ask_vote(term=7, sender=C)))
+    assert voter.replica.core.term == 2
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        append(cluster="other"),
+        append(to=ReplicaId("a", "lost")),
+        ask_vote(cluster="other"),
+        ask_vote(to=ReplicaId("a", "lost")),
+    ],
+)
+def test_messages_for_another_cluster_or_folder_are_dropped(message):
+    replica = Driver()
+    replica.tick(2.5)
+    replica.seen.clear()
+    assert replica.give(Received(message)) == []
+
+
+def test_a_vote_by_a_vm_that_lost_its_folder_does_not_count():
+    candidate = Driver()
+    candidate.tick(4.5)
+    again = ReplicaId("b", "2")
+    candidate.give(Received(VoteReply("lab", again, A, 2, True, True)))
+    assert candidate.replica.core.election.is_trial
+
+
+def test_a_commit_needs_a_majority_that_has_synced():
+    driver = leader()
+    driver.give(Propose(b"x", "t"))
+    driver.answer(B)
+    assert driver.replies() == []
+    driver.sync()
+    assert driver.replies()[0].outcome == Outcome.COMMITTED
+
+
+def test_two_followers_are_a_majority_without_the_leaders_own_disk():
+    driver = leader()
+    driver.give(Propose(b"x", "t"))
+    driver.answer(B)
+    driver.answer(C)
+    assert driver.replies()[0].outcome == Outcome.COMMITTED
+
+
+def test_an_entry_of_an_earlier_term_is_not_committed_by_counting():
+    restored = state(1, None, [entry(1, 1)])
+    driver = Driver(restored=restored)
+    driver.tick(4.5)
+    driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.sync()
+    driver.give(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.sync()
+    driver.answer(B, index=1)
+    driver.answer(C, index=1)
+    assert driver.replica.core.commit == 0
+    driver.answer(B, index=2)
+    assert driver.replica.core.commit == 2
+
+
+def test_an_isolated_leader_steps_down_and_accepts_nothing():
+    driver = leader()
+    driver.give(Propose(b"x", "before"))
+    driver.sync()
+    driver.tick(2.5)
+    driver.give(Propose(b"x", "after"))
+    outcomes = {reply.token: reply.outcome for reply in driver.replies()}
+    assert outcomes == {"before": Outcome.UNKNOWN, "after": Outcome.REFUSED}
+    assert driver.role() != Role.LEADER
+
+
+def test_a_leader_without_a_majority_is_replaced_without_a_revert():
+    driver = leader()
+    driver.give(Propose(b"lost", "t"))
+    driver.sync()
+    last = driver.replica.core.log.last_index
+    won = entry(last, 9, b"won")
+    previous = (last - 1, driver.replica.core.log.term_at(last - 1))
+    driver.give(Received(append(9, previous, (won,), last)))
+    driver.sync()
+    assert driver.replies()[0].outcome == Outcome.UNKNOWN
+    applied = [one for one in driver.seen if isinstance(one, Apply)]
+    assert [one.data for one in applied[-1].entries] == [b"won"]
+
+
+@pytest.mark.parametrize(
+    ("name", "silence_s", "jump_s", "outcomes"),
+    [
+        ("under the lease", 0.5, 0.0, [Outcome.CURRENT]),
+        ("lease over", 1.5, 0.0, []),
+        ("clock went back", 0.1, -5.0, []),
+        ("clock went forward", 0.1, 5.0, []),
+    ],
+)
+def test_reads(name, silence_s, jump_s, outcomes):
+    driver = leader()
+    driver.give(Tick(), 0.1)
+    driver.replica.core.leadership.heartbeat_at = 0
+    driver.give(Tick(), 0.1)
+    driver.answer(B)
+    driver.tick(silence_s)
+    driver.now += jump_s
+    driver.seen.clear()
+    driver.give(Read("r"))
+    assert [reply.outcome for reply in driver.replies()] == outcomes, name
+    driver.answer(C)
+    assert [reply.outcome for reply in driver.replies()] == [Outcome.CURRENT], name
+
+
+def test_an_answer_to_an_earlier_round_does_not_vouch_for_a_read():
+    driver = leader()
+    driver.tick(1.5)
+    before = driver.replica.core.leadership.round
+    driver.give(Read("r"))
+    driver.answer(B, round=before)
+    assert driver.replies() == []
+
+
+def test_a_new_leader_answers_no_read_before_it_has_committed():
+    driver = Driver()
+    driver.tick(4.5)
+    driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.sync()
+    driver.give(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.give(Read("r"))
+    assert driver.replies()[0].problem.code == "not-ready"
+
+
+def test_a_failing_disk_ends_all_part_in_the_log():
+    driver = leader()
+    driver.give(Propose(b"x", "t"))
+    problem = Problem("disk-full", "the disk is full")
+    driver.give(PersistFailed(driver.unsynced.pop(), problem))
+    assert driver.replies()[0].outcome == Outcome.UNKNOWN
+    assert driver.role() == Role.FAILED
+    driver.seen.clear()
+    driver.tick(9)
+    driver.give(Received(ask_vote(term=9)))
+    driver.give(Received(append(9)))
+    assert driver.seen == []
+    driver.give(Propose(b"x", "u"))
+    assert driver.replies()[0].problem.code == "replica-failed"
+
+
+@pytest.mark.parametrize(
+    ("code", "settings", "event"),
+    [
+        ("entry-too-long", {"entry_bytes": 3}, Propose(b"long", "t")),
+        ("too-many-pending", {"pending_entries": 0}, Propose(b"x", "t")),
+        ("membership-size", {}, ChangeMembership(("a", "b"), "t")),
+        ("membership-size", {}, ChangeMembership(("a", "b", "b"), "t")),
+    ],
+)
+def test_what_is_refused_never_enters_the_log(code, settings, event):
+    driver = leader(**settings)
+    last = driver.replica.core.log.last_index
+    driver.give(event)
+    assert driver.replies()[0].problem.code == code
+    assert driver.replica.core.log.last_index == last
+
+
+def test_a_founder_accepts_nothing_alone():
+    driver = Driver(restored=founding_state(A, VMS))
+    driver.tick(0.2)
+    driver.sync()
+    assert driver.role() == Role.LEADER
+    driver.give(Propose(b"x", "t"))
+    assert driver.replies()[0].problem.code == "too-few-voters"
+
+
+def test_a_joining_vm_asks_and_neither_stands_nor_is_let_in_unasked():
+    driver = Driver(restored=joining_state())
+    driver.tick(9)
+    assert driver.role() == Role.OUTSIDER
+    assert driver.sent(JoinRequest) and not driver.sent(VoteRequest)
+
+
+def test_a_member_by_an_entry_that_was_never_committed_asks_again():
+    learner = Configuration(VMS, (A, B), (C,))
+    driver = Driver(C, state(configuration=learner))
+    driver.tick(5)
+    assert driver.role() == Role.LEARNER
+    assert driver.sent(JoinRequest)
+
+
+def test_a_leader_whose_removal_is_not_committed_stands_again():
+    without = Configuration(("b", "c"), (B, C))
+    removal = Entry(1, 1, EntryKind.CONFIGURATION, b"", without)
+    driver = Driver(restored=state(entries=[removal]))
+    driver.tick(4.5)
+    assert {request.to for request in driver.sent(VoteRequest)} == {B, C}
+
+
+def test_a_member_that_lost_what_it_acknowledged_is_sent_it_again():
+    driver = leader()
+    driver.give(Propose(b"x", "t"))
+    driver.sync()
+    driver.answer(B)
+    driver.seen.clear()
+    driver.answer(B, index=1, matched=False)
+    sent = driver.sent(AppendRequest)
+    assert sent[0].entries[0].log_index == 1
+
+
+def test_a_snapshot_arrives_in_parts_that_may_come_twice():
+    follower = Driver(restored=joining_state())
+    parts = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
+    for offset, data in parts:
+        chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE, offset, 6, data, 1)
+        follower.give(Received(chunk))
+    follower.sync()
+    assert [one.received for one in follower.sent(SnapshotReply)] == [2, 2, 2, 4]
+    assert follower.sent(AppendReply)[-1].log_index == 9
+    assert follower.replica.core.log.snapshot.data == b"abcdef"
+
+
+def test_idle_costs_two_messages_a_follower_and_second():
+    driver = leader()
+    for _ in range(100):
+        driver.give(Tick(), 0.1)
+        driver.answer(B)
+        driver.answer(C)
+    sent = driver.sent(AppendRequest)
+    assert len(sent) <= 2 * 2 * 10 + 2
+    assert max(len(MESSAGES.encode(one)) for one in sent) < 100
