Crash the store at every write and sync

Cause: what was synced has to survive any crash. Change: tests that crash at each of the disk's operations, damage each byte, tear the end and fail writes, and a fuzz of the reader.

--- /dev/null
+++ b/libs/storage/tests/test_disk.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import errno
+
+import pytest
+
+from kumquatmux_agreement.entries import Entry, EntryKind, ReplicaId, founding_state
+from kumquatmux_agreement.events import Persist
+from kumquatmux_storage.disk import open_folder, problem_of
+from kumquatmux_storage.store import Identity, open_or_create, open_store
+
+ME = ReplicaId("a", "f1")
+IDENTITY = Identity("lab", "a", "f1")
+
+
+def test_a_real_folder_holds_what_was_written(tmp_path):
+    disk = open_folder(tmp_path / "data").ok
+    store = open_or_create(disk, IDENTITY, founding_state(ME, ("a",))).ok
+    entry = Entry(1, 1, EntryKind.DATA, b"x")
+    assert store.write(Persist(1, entries=(entry,))).is_ok()
+    disk.close()
+    again = open_folder(tmp_path / "data").ok
+    assert open_store(again).ok.restored.entries == (entry,)
+    again.close()
+
+
+def test_two_processes_cannot_use_one_folder(tmp_path):
+    disk = open_folder(tmp_path).ok
+    assert open_folder(tmp_path).error.code == "folder-in-use"
+    disk.close()
+    again = open_folder(tmp_path)
+    assert again.is_ok()
+    again.ok.close()
+
+
+def test_a_folder_that_cannot_be_made_is_a_problem(tmp_path):
+    (tmp_path / "file").write_text("")
+    assert open_folder(tmp_path / "file" / "data").error.code == "disk-failed"
+
+
+@pytest.mark.parametrize(
+    ("number", "code"),
+    [
+        (errno.ENOSPC, "disk-full"),
+        (errno.EDQUOT, "disk-full"),
+        (errno.EIO, "disk-failed"),
+    ],
+)
+def test_errors_of_the_system_are_named(number, code):
+    assert problem_of(OSError(number, "text"), "log").code == code
--- /dev/null
+++ b/libs/storage/tests/test_store.py
@@ -0,0 +1,242 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatmux_agreement.entries import (
+    Configuration,
+    Entry,
+    EntryKind,
+    ReplicaId,
+    Snapshot,
+    VoteRecord,
+    founding_state,
+    joining_state,
+)
+from kumquatmux_agreement.events import Persist
+from kumquatmux_storage import files, frames
+from kumquatmux_storage.memory import Crashed, MemoryDisk
+from kumquatmux_storage.store import Identity, open_or_create, open_store
+
+ME = ReplicaId("a", "f1")
+IDENTITY = Identity("lab", "a", "f1")
+VOTERS = Configuration(("a",), (ME,))
+
+
+def entry(index, term=1, data=b"payload"):
+    return Entry(index, term, EntryKind.DATA, data)
+
+
+def snapshot(index, term=1):
+    return Snapshot(index, term, VOTERS, b"state")
+
+
+STEPS = (
+    Persist(1, vote=VoteRecord(1, ME)),
+    Persist(2, entries=(entry(1), entry(2))),
+    Persist(3, entries=(entry(3, data=b"z" * 2000),)),
+    Persist(4, entries=(entry(3, 2), entry(4, 2))),
+    Persist(5, snapshot=snapshot(2)),
+    Persist(6, vote=VoteRecord(3), entries=(entry(5, 3),)),
+    Persist(7, snapshot=snapshot(9, 3), keep_entries=False),
+    Persist(8, entries=(entry(10, 3),)),
+)
+
+
+def started():
+    disk = MemoryDisk()
+    return disk, open_or_create(disk, IDENTITY, founding_state(ME, ("a",))).ok
+
+
+def after(steps):
+    """Return what a store holds after some steps."""
+    disk, store = started()
+    for step in steps:
+        assert store.write(step).is_ok()
+    return open_store(disk).ok.restored
+
+
+def damage(disk, name, place):
+    data = disk.files[name].data
+    other = bytes((data[place] ^ 0xFF,))
+    disk.files[name].data = data[:place] + other + data[place + 1 :]
+
+
+def test_what_was_written_is_read_back():
+    held = after(STEPS[:6])
+    assert held.vote == VoteRecord(3)
+    assert held.snapshot == snapshot(2)
+    assert held.entries == (entry(3, 2), entry(4, 2), entry(5, 3))
+    assert after(STEPS).entries == (entry(10, 3),)
+
+
+def total_operations():
+    disk, store = started()
+    begin = disk.operations
+    for step in STEPS:
+        store.write(step)
+    return begin, disk.operations
+
+
+FIRST, LAST = total_operations()
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("point", range(FIRST + 1, LAST + 1))
+def test_a_crash_at_any_write_or_sync_loses_nothing_that_was_synced(point, seed):
+    disk, store = started()
+    disk.crash_at = point
+    done = 0
+    with pytest.raises(Crashed):
+        for step in STEPS:
+            assert store.write(step).is_ok()
+            done += 1
+    disk.crash(Random(seed * 1000 + point))
+    found = open_store(disk).ok
+    partial = STEPS[done]._replace(entries=())
+    allowed = (after(STEPS[:done]), after(STEPS[: done + 1]))
+    assert found.restored in (*allowed, after((*STEPS[:done], partial)))
+    rest = STEPS[done:]
+    assert all(found.write(step).is_ok() for step in rest)
+    assert open_store(disk).ok.restored == after(STEPS)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_crash_while_a_folder_is_created_leaves_it_new_or_whole(seed):
+    for point in range(1, FIRST + 1):
+        disk = MemoryDisk()
+        disk.crash_at = point
+        with pytest.raises(Crashed):
+            open_or_create(disk, IDENTITY, founding_state(ME, ("a",)))
+        disk.crash(Random(seed * 1000 + point))
+        opened = open_or_create(disk, IDENTITY, founding_state(ME, ("a",)))
+        assert opened.ok.restored == founding_state(ME, ("a",))
+
+
+def test_every_single_damaged_byte_of_synced_files_is_refused_or_harmless():
+    disk, store = started()
+    for step in STEPS[:6]:
+        store.write(step)
+    whole = store.disk.files
+    expected = open_store(disk).ok.restored
+    for name in (files.IDENTITY, files.VOTE, files.SNAPSHOT, files.LOG):
+        for place in range(len(whole[name].data)):
+            before = whole[name].data
+            damage(disk, name, place)
+            opened = open_store(disk)
+            if opened.is_ok():
+                assert opened.ok.restored == expected, (name, place)
+            else:
+                assert opened.error.subject == name
+            whole[name].data = before
+
+
+def test_damage_of_the_last_record_is_told_from_a_torn_end():
+    disk, store = started()
+    store.write(STEPS[1])
+    del disk.files[files.SYNCED]
+    length = len(disk.files[files.LOG].data)
+    for place in range(length - 20, length):
+        damage(disk, files.LOG, place)
+        assert open_store(disk).error.code == "log-damaged"
+        damage(disk, files.LOG, place)
+
+
+def test_a_torn_end_is_cut_and_written_over():
+    disk, store = started()
+    store.write(STEPS[1])
+    disk.files[files.LOG].data += frames.frame(b"unfinished", store.length)[:-3]
+    again = open_store(disk).ok
+    assert again.restored.entries == (entry(1), entry(2))
+    assert again.write(Persist(9, entries=(entry(3),))).is_ok()
+    assert len(open_store(disk).ok.restored.entries) == 3
+
+
+def test_a_synced_part_that_is_gone_is_refused_with_its_offset():
+    disk, store = started()
+    store.write(STEPS[1])
+    length = store.length
+    store.write(STEPS[2])
+    disk.truncate(files.LOG, length)
+    problem = open_store(disk).error
+    assert problem.code == "log-damaged"
+    assert f"offset {length}" in problem.detail
+    assert "move this data folder away" in problem.detail
+
+
+@pytest.mark.parametrize(
+    ("name", "code"),
+    [
+        (files.VOTE, "file-missing"),
+        (files.SNAPSHOT, "file-missing"),
+        (files.LOG, "file-missing"),
+        (files.IDENTITY, "identity-missing"),
+    ],
+)
+def test_a_lost_file_is_refused(name, code):
+    disk, store = started()
+    store.write(STEPS[0])
+    store.write(STEPS[1])
+    del disk.files[name]
+    assert open_store(disk).error.code == code
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (b"", "file-short"),
+        (b"NOTSUCHAFILE", "file-kind"),
+        (b"KQMX\x02\x04\x00\x00", "file-version"),
+        (b"KQMX\x01\x04\x00\x00", "log-damaged"),
+    ],
+)
+def test_an_unreadable_log_is_refused(data, code):
+    disk, _ = started()
+    disk.files[files.LOG].data = data
+    assert open_store(disk).error.code == code
+
+
+def test_a_lost_folder_comes_back_as_another_replica():
+    disk, store = started()
+    store.write(STEPS[0])
+    disk.wipe()
+    assert open_store(disk).ok is None
+    again = Identity("lab", "a", "f2")
+    opened = open_or_create(disk, again, joining_state()).ok
+    assert opened.identity.folder == "f2"
+    assert opened.restored.snapshot.configuration.voters == ()
+
+
+@pytest.mark.parametrize("other", [("other", "a"), ("lab", "b")])
+def test_the_folder_of_another_vm_or_cluster_is_refused(other):
+    disk, _ = started()
+    opened = open_or_create(disk, Identity(*other, "f9"), joining_state())
+    assert opened.error.code == "folder-of-another"
+
+
+@pytest.mark.parametrize(
+    ("fault", "code"), [("is_full", "disk-full"), ("fails_sync", "disk-failed")]
+)
+@pytest.mark.parametrize("step", STEPS[:2] + STEPS[4:5])
+def test_after_a_failed_write_nothing_more_is_written(fault, code, step):
+    disk, store = started()
+    store.write(STEPS[1])
+    before = open_store(disk).ok.restored
+    setattr(disk, fault, True)
+    assert store.write(step).error.code == code
+    setattr(disk, fault, False)
+    assert store.write(step).error.code == code
+    disk.crash(Random(1))
+    assert open_store(disk).ok.restored == before
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_crash_the_reader(tail):
+    disk, store = started()
+    store.write(STEPS[1])
+    disk.files[files.LOG].data += tail
+    opened = open_store(disk)
+    assert opened.is_error() or opened.ok.restored.entries == (entry(1), entry(2))
