Refuse message types that share a kind

Cause: flow engines and settings both numbered their messages 0x0401, so the merged registry could not encode a RecordBatch and an entry VM would have stopped with a KeyError when it handed flows over. Ruled out: a missing import. Change: flow messages have kinds of their own and a registry with a clash is refused.

--- a/libs/core/src/kumquatmux_core/codec.py
+++ b/libs/core/src/kumquatmux_core/codec.py
@@ -45,8 +45,16 @@
         return _decode_body(message_type, data[HEADER_BYTES:])
 
 
-def registry(types: dict[int, type]) -> Registry:
-    """Return the registry of some message types by kind."""
+def registry(*tables: dict[int, type]) -> Registry:
+    """Return the registry of some tables of message types by kind.
+
+    Raises:
+        ValueError: Two tables give one kind, or one type, twice.
+    """
+    types = {kind: message for table in tables for kind, message in table.items()}
+    total = sum(len(table) for table in tables)
+    if len(types) < total or len(set(types.values())) < total:
+        raise ValueError("two message types share a kind, or one has two")
     return Registry(types, {message: kind for kind, message in types.items()})
 
 
--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -51,3 +52,10 @@
 @given(st.binary(max_size=64))
 def test_no_bytes_crash_the_decoder(data):
     assert OLD.decode(data).is_ok() or OLD.decode(data).is_error()
+
+
+def test_two_types_cannot_share_a_kind():
+    with pytest.raises(ValueError, match="share a kind"):
+        registry({1: Ping}, {1: PingLater})
+    with pytest.raises(ValueError, match="one has two"):
+        registry({1: Ping}, {2: Ping})
--- a/libs/daemons/src/kumquatmux_daemons/transport/registry.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/registry.py
@@ -32,12 +32,10 @@
 def all_messages() -> Registry:
     """Return the registry of every message of this protocol version."""
     return registry(
-        {
-            **FLOW_MESSAGES,
-            **MEMBERSHIP_MESSAGES,
-            **REPLICA_MESSAGES,
-            **SETTINGS_MESSAGES,
-            **REPORT_MESSAGES,
-            **PLACEMENT_MESSAGES,
-        }
+        FLOW_MESSAGES,
+        MEMBERSHIP_MESSAGES,
+        REPLICA_MESSAGES,
+        SETTINGS_MESSAGES,
+        REPORT_MESSAGES,
+        PLACEMENT_MESSAGES,
     )
--- a/libs/flows/src/kumquatmux_flows/messages.py
+++ b/libs/flows/src/kumquatmux_flows/messages.py
@@ -50,7 +50,7 @@
 
 FlowMessage = RecordBatch | BatchStored
 
-MESSAGE_TYPES: dict[int, type] = {0x0401: RecordBatch, 0x0402: BatchStored}
+MESSAGE_TYPES: dict[int, type] = {0x0101: RecordBatch, 0x0102: BatchStored}
 """Message types by kind, to be merged into the registry of a channel."""
 
 FLOW_MESSAGES = registry(MESSAGE_TYPES)
