Watch a sample of VMs and pass rumours on

Cause: heartbeats to every VM cost a VM bytes in proportion to their number. Change: SampledMembership (settings: fanout) heartbeats neighbours on several rings, spreads losses, leaves and joins as rumours which their subject refutes, and settles differences by digests. The view, the probes and the rumours are modules of their own. Found by its tests: a leaving VM was refused by its peers, lost all of them and could not have forwarded to them (also without sampling).

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -15,6 +15,7 @@
 )
 from kumquatmux_membership.leases import LeaseTable
 from kumquatmux_membership.membership import Membership
+from kumquatmux_membership.sampled import SampledMembership
 from kumquatmux_membership.settings import LeaseSettings, MembershipSettings
 
 
@@ -38,7 +39,8 @@
         random: Random,
     ) -> None:
         self.clock = SteadyClock(leases.stale_seconds)
-        self.membership = Membership(me, peers, membership, random)
+        kind = SampledMembership if membership.fanout else Membership
+        self.membership = kind(me, peers, membership, random)
         self.leases = LeaseTable(me, leases)
 
     @property
--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -50,6 +50,7 @@
         echoed: Incarnation of the receiver whose stamp is echoed.
         refused: Whether the sender does not use the receiver at present.
         rumours: What the sender passes on about third VMs, in sampled mode.
+        members: Digest of all rumours the sender knows, 0 without sampled mode.
     """
 
     sender: VmId
@@ -63,6 +64,7 @@
     echoed: int = 0
     refused: bool = False
     rumours: tuple[Rumour, ...] = ()
+    members: int = 0
 
 
 class Hello(NamedTuple):
@@ -200,8 +202,23 @@
     version: int
 
 
+class Members(NamedTuple):
+    """All rumours the sender knows, because the receiver's digest differs.
+
+    Attributes:
+        sender: Who tells.
+        rumours: The latest rumour about each VM.
+        answer: Whether this answers ``Members``, so that it gets no answer.
+    """
+
+    sender: VmId
+    rumours: tuple[Rumour, ...]
+    answer: bool = False
+
+
 Message = (
     Heartbeat
+    | Members
     | Hello
     | Superseded
     | ProbeRequest
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -278,7 +278,7 @@
         self._hold(lease, expires, now)
         witnesses = self._witnesses(lease)
         self.notices.add(lease, self.holder.version, set(witnesses), now)
-        for vm in witnesses:
+        for vm in sorted(witnesses):
             self._send_table(vm, base, ack=True)
         self._push(base, now, skip=witnesses)
 
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from functools import singledispatchmethod
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 from kumquatmux_core import decisions
 from kumquatmux_core.identity import Vm, VmId
@@ -19,6 +20,7 @@
     Hello,
     IncarnationRaised,
     Leave,
+    Members,
     Message,
     PeerAhead,
     PeerLearned,
@@ -26,31 +28,25 @@
     ProbeAnswer,
     ProbeRequest,
     Received,
+    Rumour,
     SendMessage,
     Superseded,
     Tick,
-    ViewChanged,
     ViewSuspended,
 )
 from kumquatmux_membership.peer import NEVER, Peer
+from kumquatmux_membership.probes import Probes
 from kumquatmux_membership.settings import MembershipSettings
 from kumquatmux_membership.stamps import STAMP_STEP_SECONDS, echoes_us
+from kumquatmux_membership.view import View
 
+UNKNOWN_INCARNATION = 0
 INCARNATION_STEP_BITS = 20
+HOUSEKEEPING_SECONDS = 1.0
 REPLY_GAP_SECONDS = 0.05
-PROBE_MEMORY_SECONDS = 2.0
 MAX_KNOWN_IN_HELLO = 64
 
 
-class Probe(NamedTuple):
-    """A probe made for another VM, answered by an echo of the stamp or a later one."""
-
-    asker: VmId
-    target: VmId
-    number: int
-    stamp: float
-
-
 class Membership:
     """The view of the VMs that this one can reach.
 
@@ -85,11 +81,12 @@
         self.suspended_until: float | None = None
         self.awake_since = NEVER
         self.awaited: set[VmId] = set(self.peers)
-        self.probes: list[Probe] = []
+        self.probes = Probes(me.vm)
         self.probe_number = 0
-        self.lost: set[VmId] = set()
-        self.view: tuple[Vm, ...] = ()
+        self.view = View()
+        self.touched: set[VmId] = set()
         self.listing: tuple[Vm, ...] | None = None
+        self.next_housekeeping = NEVER
         self.actions: list[Action] = []
 
     def note_settings(self, revision: int, digest: str) -> None:
@@ -114,9 +111,11 @@
         self.actions = []
         self._watch_gap(now)
         self._on(event, now)
-        self._forget(now)
-        self._review(now)
-        self._list_peers(now)
+        if now >= self.next_housekeeping:
+            self.next_housekeeping = now + HOUSEKEEPING_SECONDS
+            self._forget(now)
+            self._list_peers(now)
+        self._review(event, now)
         return self.actions
 
     def _watch_gap(self, now: float) -> None:
@@ -146,17 +145,17 @@
     def _on_tick(self, event: Tick, now: float) -> None:
         if now >= self.next_round:
             self._heartbeat_round(now)
-        for peer in self.peers.values():
+        for name in self._watched():
+            peer = self.peers[name]
             if peer.suspected(now, self.settings) and not peer.probe:
                 self._ask_probes(peer, now)
-        self.probes = [
-            probe for probe in self.probes if now - probe.stamp < PROBE_MEMORY_SECONDS
-        ]
+        self.probes.forget(now)
 
     @_on.register
     def _on_leave(self, event: Leave, now: float) -> None:
         self.leaving = True
         decisions.log("vm-leaving", vm=self.me.vm)
+        self._said_leave(now)
         self._heartbeat_round(now)
 
     @_on.register
@@ -164,6 +163,8 @@
         named = {vm.vm: vm for vm in event.peers if vm.vm != self.me.vm}
         for name, peer in list(self.peers.items()):
             if peer.listed and name not in named:
+                self.view.stale = True
+                self.next_housekeeping = now
                 del self.peers[name]
         for vm in named.values():
             self._learn(vm, now).listed = True
@@ -181,23 +182,23 @@
         peer = self._speaker(message.sender, message.incarnation)
         if peer is None or message.stamp <= peer.heard:
             return
+        self.touched.add(message.sender)
         peer.heard = message.stamp
         peer.heard_at = now
         peer.introduced = True
         current = echoes_us(message, self.me.incarnation, now)
         if current and message.echo >= self.awake_since:
             peer.echoed(message.echo)
-            self._answer_probes(peer)
+            self.actions += self.probes.answer(peer)
         unconfirmed = now - peer.contact > self.settings.remove_seconds
         if unconfirmed and now - peer.sent >= REPLY_GAP_SECONDS:
             self._send_heartbeat(peer, now)
         peer.refused = message.refused
-        if message.leaving and not peer.left:
-            peer.left = True
-            peer.left_at = now
-            decisions.log("peer-leaving", vm=peer.vm.vm)
+        if message.leaving:
+            self._note_leave(peer, now)
         if message.revision > self.revision:
             self.actions.append(PeerAhead(peer.vm.vm, message.revision))
+        self._hear_gossip(peer, message, now)
 
     @_receive.register
     def _receive_hello(self, message: Hello, now: float) -> None:
@@ -214,6 +215,10 @@
             self._send_heartbeat(peer, now)
             self._send(peer.vm.vm, self._hello(answer=True))
 
+    @_receive.register
+    def _receive_members(self, message: Members, now: float) -> None:
+        self._hear_members(message, now)
+
     @_receive.register
     def _receive_superseded(self, message: Superseded, now: float) -> None:
         if message.incarnation <= self.me.incarnation:
@@ -222,6 +227,7 @@
         self.me = self.me._replace(incarnation=message.incarnation + step)
         decisions.log("incarnation-raised", incarnation=self.me.incarnation)
         self.actions.append(IncarnationRaised(self.me.incarnation))
+        self._raised()
         self._heartbeat_round(now)
 
     @_receive.register
@@ -230,7 +236,7 @@
         if target is None:
             return
         self._send_heartbeat(target, now)
-        self.probes.append(Probe(*message, stamp=self.latest_stamp))
+        self.probes.begin(message, self.latest_stamp)
 
     @_receive.register
     def _receive_probe_answer(self, message: ProbeAnswer, now: float) -> None:
@@ -242,6 +248,7 @@
             return
         keep = self.settings.remove_seconds + self.settings.probe_grace_seconds
         peer.extended_until = peer.contact + keep
+        peer.vouched = now
 
     def _speaker(self, sender: VmId, incarnation: int) -> Peer | None:
         """Return the peer that speaks, or None for one unknown or superseded."""
@@ -258,16 +265,29 @@
         """Drop what is known of an earlier process of a VM."""
         if incarnation <= peer.vm.incarnation:
             return
-        if peer.live and not peer.left:
-            self.lost.add(peer.vm.vm)
+        known_before = peer.vm.incarnation != UNKNOWN_INCARNATION
+        if peer.live and known_before:
+            self.view.lose(peer)
+        self.view.stale = True
+        self.touched.add(peer.vm.vm)
         peer.renew_incarnation(incarnation)
 
+    def _note_leave(self, peer: Peer, now: float) -> None:
+        if peer.left:
+            return
+        peer.left = True
+        peer.left_at = now
+        self.touched.add(peer.vm.vm)
+        decisions.log("peer-leaving", vm=peer.vm.vm)
+
     def _learn(self, vm: Vm, now: float) -> Peer:
         peer = self.peers.get(vm.vm)
         if peer is None:
             peer = self.peers[vm.vm] = Peer(
                 vm._replace(incarnation=0), now, listed=False
             )
+            self.next_housekeeping = now
+            self.touched.add(vm.vm)
             decisions.log("peer-learned", vm=vm.vm, zone=vm.zone)
             self.actions.append(PeerLearned(vm))
         return peer
@@ -287,7 +307,7 @@
         self.next_round = now + self.settings.heartbeat_seconds * spread
         quiet = self.round % self.settings.quiet_rounds
         self.round += 1
-        for peer in self.peers.values():
+        for peer in self._targets(now):
             silent = now - peer.heard_at > self.settings.remove_seconds
             if silent and quiet and not peer.live and self.suspended_until is None:
                 continue
@@ -297,7 +317,6 @@
 
     def _send_heartbeat(self, peer: Peer, now: float) -> None:
         self.latest_stamp = max(now, self.latest_stamp + STAMP_STEP_SECONDS)
-        kept = self.suspended_until is not None and peer.live
         message = Heartbeat(
             sender=self.me.vm,
             incarnation=self.me.incarnation,
@@ -308,7 +327,9 @@
             leases=self.leases,
             leaving=self.leaving,
             echoed=peer.vm.incarnation,
-            refused=not (kept or peer.answers(now, self.settings)),
+            refused=self._refuses(peer, now),
+            rumours=self._gossip(peer),
+            members=self._members_digest(),
         )
         peer.sent = now
         self._send(peer.vm.vm, message)
@@ -325,69 +346,98 @@
         ]
         self.probe_number += 1
         target.probe = self.probe_number
+        target.probe_at = now
         request = ProbeRequest(self.me.vm, target.vm.vm, self.probe_number)
         count = min(self.settings.probe_helpers, len(helpers))
         for helper in self.random.sample(helpers, count):
             self._send(helper, request)
         decisions.log("peer-suspected", vm=target.vm.vm, helpers=count)
 
-    def _answer_probes(self, peer: Peer) -> None:
-        waiting = []
-        for probe in self.probes:
-            if probe.target == peer.vm.vm and peer.contact >= probe.stamp:
-                answer = ProbeAnswer(
-                    self.me.vm, probe.target, probe.number, peer.vm.incarnation
-                )
-                self._send(probe.asker, answer)
-            else:
-                waiting.append(probe)
-        self.probes = waiting
-
-    def _review(self, now: float) -> None:
+    def _review(self, event: Event, now: float) -> None:
+        """Work out the view again where time or this event may have changed it."""
+        due = self.suspended_until is not None
         if self.suspended_until is not None:
             if now < self.suspended_until and not self._all_back(now):
                 return
             self.suspended_until = None
             self.awaited = set()
-            view_due = True
-        else:
-            view_due = False
-        for peer in self.peers.values():
-            self._review_peer(peer, now)
-        live = [peer.vm for peer in self.peers.values() if peer.live]
-        view = tuple(sorted([self.me, *live]))
-        gone = {vm.vm for vm in self.view} - {vm.vm for vm in view}
-        for name in gone:
-            peer_gone = self.peers.get(name)
-            if peer_gone is not None and not peer_gone.left:
-                self.lost.add(name)
-        if view == self.view and not self.lost and not view_due:
-            return
-        self.view = view
-        lost = tuple(sorted(self.lost))
-        self.lost = set()
-        names = ",".join(vm.vm for vm in view)
-        decisions.log("view-changed", live=names, lost=",".join(lost))
-        self.actions.append(ViewChanged(view, lost))
+        if due:
+            self.touched.update(self.peers)
+        elif isinstance(event, Tick):
+            self.touched.update(self._watched())
+        for name in sorted(self.touched):
+            peer = self.peers.get(name)
+            if peer is not None:
+                self._review_peer(peer, now)
+        self.touched = set()
+        changed = self.view.renew(self.me, self.peers.values(), due=due)
+        if changed is not None:
+            self.actions.append(changed)
 
     def _all_back(self, now: float) -> bool:
-        peers = [self.peers[name] for name in self.awaited if name in self.peers]
+        watched = set(self._watched()) & self.awaited
+        peers = [self.peers[name] for name in watched]
         return all(peer.left or peer.usable(now, self.settings) for peer in peers)
 
     def _review_peer(self, peer: Peer, now: float) -> None:
-        usable = peer.usable(now, self.settings)
+        usable = self._belongs(peer, now)
         if usable == peer.live:
             return
-        if not usable and not peer.left:
-            peer.lose(now, self.settings)
+        if not usable:
+            self.view.lose(peer)
+            if not peer.left and peer.vm.vm in self._watched():
+                peer.lose(now, self.settings)
+        self.view.stale = True
         peer.live = usable
         peer.since = now
+        self._turned(peer, now)
+
+    def _targets(self, now: float) -> list[Peer]:
+        """Return the peers that get heartbeats in this round: here all of them."""
+        return list(self.peers.values())
+
+    def _watched(self) -> Collection[VmId]:
+        """Return the peers judged by our own contact: here all of them."""
+        return self.peers.keys()
+
+    def _belongs(self, peer: Peer, now: float) -> bool:
+        """Whether a peer belongs in the view: here by our own contact alone."""
+        return peer.usable(now, self.settings)
+
+    def _refuses(self, peer: Peer, now: float) -> bool:
+        """Whether we do not use a peer; a suspended view refuses nobody in it."""
+        if self.suspended_until is not None and peer.live:
+            return False
+        return not peer.reached(now, self.settings)
+
+    def _turned(self, peer: Peer, now: float) -> None:
+        """Act on a peer that entered or left the view."""
         self._send_heartbeat(peer, now)
 
+    def _gossip(self, peer: Peer) -> tuple[Rumour, ...]:
+        """Return what a heartbeat passes on about third VMs: here nothing."""
+        return ()
+
+    def _members_digest(self) -> int:
+        """Return the digest of all rumours known, 0 where there are none."""
+        return 0
+
+    def _hear_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
+        """Take what a heartbeat says about third VMs."""
+
+    def _hear_members(self, message: Members, now: float) -> None:
+        """Take all that a peer knows about third VMs."""
+
+    def _said_leave(self, now: float) -> None:
+        """Act on our own graceful shutdown."""
+
+    def _raised(self) -> None:
+        """Act on our own incarnation having been raised."""
+
     def _list_peers(self, now: float) -> None:
         listing = tuple(
             sorted(
-                peer.vm._replace(incarnation=0)
+                peer.vm._replace(incarnation=UNKNOWN_INCARNATION)
                 for peer in self.peers.values()
                 if not peer.left or now - peer.left_at < self.settings.left_seconds
             )
--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -77,7 +77,7 @@
             if version >= notice.table_version:
                 notice.waiting.discard(vm)
 
-    def due(self, now: float) -> set[VmId]:
+    def due(self, now: float) -> list[VmId]:
         """Return the VMs that are to be told again."""
         vms: set[VmId] = set()
         for notice in self.open.values():
@@ -87,7 +87,7 @@
                 continue
             notice.sent = now
             vms.update(notice.waiting)
-        return vms
+        return sorted(vms)
 
     def base(self, vm: VmId) -> int:
         """Return the table version from which a VM has to be told."""
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -25,6 +25,8 @@
         left_at: When it first said so.
         extended_until: Until when it stays because another VM reached it.
         probe: Number of the probe others make since the last contact, 0 for none.
+        vouched: When another VM last said that it reached it.
+        probe_at: When others were last asked to probe it.
         hold_until: Until when it stays out although it answers.
         losses: How often it was lost since it was last stable.
         since: When it last entered or left the view.
@@ -44,6 +46,8 @@
         self.left_at = NEVER
         self.extended_until = NEVER
         self.probe = 0
+        self.vouched = NEVER
+        self.probe_at = NEVER
         self.hold_until = NEVER
         self.losses = 0
         self.since = now
@@ -65,16 +69,16 @@
             self.contact = stamp
             self.probe = 0
 
-    def answers(self, now: float, settings: MembershipSettings) -> bool:
+    def reached(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it and we hear each other, judged from our side alone."""
-        if self.left or now < self.hold_until:
+        if now < self.hold_until:
             return False
         fresh = now - self.contact <= settings.remove_seconds
         return fresh or now < self.extended_until
 
     def usable(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it belongs in our view."""
-        return self.answers(now, settings) and not self.refused
+        return not (self.left or self.refused) and self.reached(now, settings)
 
     def suspected(self, now: float, settings: MembershipSettings) -> bool:
         """Whether its last echo is old enough to have others probe it."""
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -0,0 +1,60 @@
+"""Probes made for other VMs, answered once the target echoes a later stamp."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import VmId
+from kumquatmux_membership.events import ProbeAnswer, ProbeRequest, SendMessage
+from kumquatmux_membership.peer import Peer
+
+PROBE_MEMORY_SECONDS = 2.0
+
+
+class Probe(NamedTuple):
+    """One probe asked of us.
+
+    Attributes:
+        request: What was asked.
+        stamp: Our stamp that the target has to echo, or a later one.
+    """
+
+    request: ProbeRequest
+    stamp: float
+
+
+class Probes:
+    """The probes that this VM makes for others.
+
+    Args:
+        me: This VM.
+    """
+
+    def __init__(self, me: VmId) -> None:
+        self.me = me
+        self.waiting: list[Probe] = []
+
+    def begin(self, request: ProbeRequest, stamp: float) -> None:
+        """Note that the target was just sent a stamp."""
+        self.waiting.append(Probe(request, stamp))
+
+    def answer(self, peer: Peer) -> list[SendMessage]:
+        """Return answers to those who asked about a peer that has echoed us."""
+        done = [
+            probe
+            for probe in self.waiting
+            if probe.request.target == peer.vm.vm and peer.contact >= probe.stamp
+        ]
+        self.waiting = [probe for probe in self.waiting if probe not in done]
+        return [self._answer(probe.request, peer) for probe in done]
+
+    def forget(self, now: float) -> None:
+        """Drop probes that nobody waits for any more."""
+        self.waiting = [
+            probe for probe in self.waiting if now - probe.stamp < PROBE_MEMORY_SECONDS
+        ]
+
+    def _answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
+        incarnation = peer.vm.incarnation
+        answer = ProbeAnswer(self.me, request.target, request.number, incarnation)
+        return SendMessage(request.sender, answer)
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -0,0 +1,64 @@
+"""What VMs say of third VMs: which rumour is the later one, how often it is sent."""
+
+from __future__ import annotations
+
+import math
+
+import xxhash
+
+from kumquatmux_core.identity import VmId
+from kumquatmux_membership.events import Rumour, RumourKind
+
+RUMOURS_PER_HEARTBEAT = 6
+SENDS_PER_DOUBLING = 2
+SENDS_AT_LEAST = 8
+
+
+def order(rumour: Rumour) -> tuple[int, int, int]:
+    """Return the order of rumours about one VM; the higher one is the later one."""
+    return rumour.incarnation, rumour.refutations, rumour.kind
+
+
+class Rumours:
+    """The latest rumour about each VM and those still to be passed on."""
+
+    def __init__(self) -> None:
+        self.latest: dict[VmId, Rumour] = {}
+        self.sends: dict[VmId, int] = {}
+        self.digest_cache = 0
+
+    def take(self, rumour: Rumour) -> bool:
+        """Take a rumour; return whether it is news."""
+        before = self.latest.get(rumour.vm)
+        if before is not None and order(before) >= order(rumour):
+            return False
+        if rumour.about is None and before is not None:
+            rumour = rumour._replace(about=before.about)
+        self.latest[rumour.vm] = rumour
+        self.sends[rumour.vm] = 0
+        self.digest_cache = 0
+        return True
+
+    def spread(self) -> tuple[Rumour, ...]:
+        """Return the rumours sent least often so far, counting them as sent."""
+        doublings = math.ceil(math.log2(len(self.latest) + 2))
+        enough = SENDS_AT_LEAST + SENDS_PER_DOUBLING * doublings
+        chosen = sorted(self.sends, key=lambda vm: self.sends[vm])
+        chosen = chosen[:RUMOURS_PER_HEARTBEAT]
+        for vm in chosen:
+            self.sends[vm] += 1
+            if self.sends[vm] >= enough:
+                del self.sends[vm]
+        return tuple(self.latest[vm] for vm in chosen)
+
+    def says_alive(self, vm: VmId) -> bool:
+        """Whether no rumour says that a VM was lost or has left."""
+        rumour = self.latest.get(vm)
+        return rumour is None or rumour.kind == RumourKind.ALIVE
+
+    def digest(self) -> int:
+        """Return 32 bits that are the same on VMs with the same rumours, never 0."""
+        if self.digest_cache == 0:
+            lines = sorted(f"{vm} {order(one)}" for vm, one in self.latest.items())
+            self.digest_cache = xxhash.xxh32_intdigest("\n".join(lines).encode()) or 1
+        return self.digest_cache
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -0,0 +1,238 @@
+"""Failure detection at a cost per VM that does not grow with their number.
+
+Each VM exchanges heartbeats with a few neighbours, which several rings of hashes choose
+alike on all VMs, and takes rumours for the rest. A loss that no probe contradicts
+becomes a rumour; the VM it speaks of refutes it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from random import Random
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import Vm, VmId
+from kumquatmux_core.rendezvous import weight
+from kumquatmux_membership.events import (
+    Heartbeat,
+    Members,
+    Rumour,
+    RumourKind,
+)
+from kumquatmux_membership.membership import Membership
+from kumquatmux_membership.peer import NEVER, Peer
+from kumquatmux_membership.rumours import Rumours
+from kumquatmux_membership.settings import MembershipSettings
+
+EAGER_SECONDS = 0.1
+REPLY_AGE_SECONDS = 0.3
+SYNC_SECONDS = 5.0
+
+
+def ring_neighbours(me: Vm, others: Iterable[Vm], fanout: int) -> set[VmId]:
+    """Return the VMs next to one on several rings.
+
+    Half of the rings hold its availability zone alone and half hold all VMs. Each gives
+    two neighbours, so both sides choose each other if they know the same VMs.
+
+    Args:
+        me: The VM in the middle.
+        others: The other VMs.
+        fanout: Neighbours wanted, two a ring.
+    """
+    everyone = [me, *others]
+    zone = [vm for vm in everyone if vm.zone == me.zone]
+    rings = max(1, fanout // 2)
+    chosen: set[VmId] = set()
+    for number in range(rings):
+        members = zone if number % 2 == 0 and rings > 1 else everyone
+        chosen |= _beside(me, members, b"ring-%d" % number)
+    return chosen - {me.vm}
+
+
+def _beside(me: Vm, members: list[Vm], ring: bytes) -> set[VmId]:
+    here = (weight(ring, me.vm), me.vm)
+    places = [(weight(ring, vm.vm), vm.vm) for vm in members if vm.vm != me.vm]
+    if not places:
+        return set()
+    after = min((place for place in places if place > here), default=min(places))
+    before = max((place for place in places if place < here), default=max(places))
+    return {VmId(after[1]), VmId(before[1])}
+
+
+class SampledMembership(Membership):
+    """Membership that watches a sample and takes rumours for the rest.
+
+    Args:
+        me: This VM.
+        peers: The VMs that the settings name; this one among them is skipped.
+        settings: Periods and timeouts; ``fanout`` is above 0.
+        random: Chooses probe helpers, lost VMs to try, and spreads heartbeats.
+    """
+
+    def __init__(
+        self,
+        me: Vm,
+        peers: tuple[Vm, ...],
+        settings: MembershipSettings,
+        random: Random,
+    ) -> None:
+        super().__init__(me, peers, settings, random)
+        self.rumours = Rumours()
+        self.refutations = 0
+        self.neighbours: set[VmId] = set()
+        self.ring_key: frozenset[VmId] | None = None
+        self.next_sync = 0.0
+        self._speak_of_me(RumourKind.ALIVE)
+        self._choose_neighbours(NEVER)
+
+    def _targets(self, now: float) -> list[Peer]:
+        self._choose_neighbours(now)
+        near = [self.peers[vm] for vm in self._watched()]
+        if self.suspended_until is None:
+            for peer in near:
+                self._watch(peer, now)
+        away = [
+            peer
+            for peer in self.peers.values()
+            if not peer.live and not peer.left and peer.vm.vm not in self.neighbours
+        ]
+        if away:
+            near.append(self.random.choice(away))
+        return near
+
+    def _watch(self, peer: Peer, now: float) -> None:
+        """Have a silent neighbour probed until it is back or rumoured lost."""
+        if peer.live or peer.left:
+            return
+        if now - peer.probe_at > self.settings.suspect_seconds:
+            self._ask_probes(peer, now)
+        self._doubt(peer, now)
+
+    def _watched(self) -> Collection[VmId]:
+        return sorted(self.neighbours & self.peers.keys())
+
+    def _belongs(self, peer: Peer, now: float) -> bool:
+        if peer.vm.vm in self.neighbours:
+            return peer.usable(now, self.settings)
+        return not peer.left and self.rumours.says_alive(peer.vm.vm)
+
+    def _gossip(self, peer: Peer) -> tuple[Rumour, ...]:
+        spread = self.rumours.spread()
+        about = self.rumours.latest.get(peer.vm.vm)
+        if about is None or about.kind == RumourKind.ALIVE or about in spread:
+            return spread
+        return (*spread, about._replace(about=None))
+
+    def _members_digest(self) -> int:
+        return self.rumours.digest()
+
+    def _hear_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
+        for rumour in message.rumours:
+            self._hear(rumour, now)
+        watched_only_there = peer.vm.vm not in self.neighbours
+        if watched_only_there and now - message.echo >= REPLY_AGE_SECONDS:
+            self._send_heartbeat(peer, now)
+        differs = message.members != self.rumours.digest()
+        if differs and not message.rumours and now >= self.next_sync:
+            self.next_sync = now + SYNC_SECONDS
+            everything = tuple(self.rumours.latest.values())
+            self._send(peer.vm.vm, Members(self.me.vm, everything))
+
+    def _hear_members(self, message: Members, now: float) -> None:
+        for rumour in message.rumours:
+            self._hear(rumour, now)
+        if not message.answer:
+            everything = tuple(self.rumours.latest.values())
+            self._send(message.sender, Members(self.me.vm, everything, True))
+
+    def _hear(self, rumour: Rumour, now: float) -> None:
+        if rumour.vm == self.me.vm:
+            self._refute(rumour)
+            return
+        if not self.rumours.take(rumour):
+            return
+        self._soon(now)
+        self.touched.add(rumour.vm)
+        peer = self.peers.get(rumour.vm)
+        if peer is None and rumour.about is not None:
+            peer = self._learn(rumour.about, now)
+        if peer is None:
+            return
+        self._note_incarnation(peer, rumour.incarnation)
+        if rumour.kind == RumourKind.LEFT:
+            self._note_leave(peer, now)
+
+    def _refute(self, rumour: Rumour) -> None:
+        if rumour.kind == RumourKind.ALIVE or self.leaving:
+            return
+        if rumour.incarnation == self.me.incarnation:
+            self.refutations = max(self.refutations, rumour.refutations + 1)
+            decisions.log("rumour-refuted", refutations=self.refutations)
+            self._speak_of_me(RumourKind.ALIVE)
+
+    def _refuses(self, peer: Peer, now: float) -> bool:
+        judged = peer.vm.vm in self.neighbours and peer.contact != NEVER
+        return judged and super()._refuses(peer, now)
+
+    def _turned(self, peer: Peer, now: float) -> None:
+        if peer.vm.vm in self.neighbours:
+            self._send_heartbeat(peer, now)
+            self._doubt(peer, now)
+
+    def _doubt(self, peer: Peer, now: float) -> None:
+        """Spread the loss of a silent neighbour unless others reach it."""
+        if peer.live or peer.refused or self.leaving:
+            return
+        if not self.rumours.says_alive(peer.vm.vm):
+            return
+        recent = max(peer.vouched, peer.contact, self.awake_since)
+        if peer.contact == NEVER:
+            recent = max(recent, peer.since)
+        if not peer.left and now - recent <= self.settings.remove_seconds:
+            return
+        before = self.rumours.latest.get(peer.vm.vm)
+        rumour = Rumour(
+            vm=peer.vm.vm,
+            incarnation=peer.vm.incarnation,
+            kind=RumourKind.LEFT if peer.left else RumourKind.LOST,
+            refutations=before.refutations if before else 0,
+        )
+        if self.rumours.take(rumour):
+            self._soon(now)
+
+    def _said_leave(self, now: float) -> None:
+        self._speak_of_me(RumourKind.LEFT)
+
+    def _raised(self) -> None:
+        self.refutations = 0
+        self._speak_of_me(RumourKind.ALIVE)
+
+    def _speak_of_me(self, kind: RumourKind) -> None:
+        about = self.me._replace(incarnation=0)
+        me = self.me
+        self.rumours.take(Rumour(me.vm, me.incarnation, kind, self.refutations, about))
+
+    def _soon(self, now: float) -> None:
+        """Pass news on before the next round is due."""
+        self.next_round = min(self.next_round, now + EAGER_SECONDS)
+
+    def _choose_neighbours(self, now: float) -> None:
+        believed = [
+            peer.vm
+            for peer in self.peers.values()
+            if not peer.left and self.rumours.says_alive(peer.vm.vm)
+        ]
+        key = frozenset(vm.vm for vm in believed)
+        if key == self.ring_key:
+            return
+        self.ring_key = key
+        self.touched |= self.neighbours
+        chosen = ring_neighbours(self.me, believed, self.settings.fanout)
+        for vm in sorted(chosen - self.neighbours):
+            peer = self.peers[vm]
+            peer.hold_until = NEVER
+            peer.refused = False
+            if peer.live:
+                peer.contact = max(peer.contact, now)
+        self.neighbours = chosen
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -22,7 +22,8 @@
         quiet_rounds: A silent peer gets a heartbeat once in so many periods.
         left_seconds: How long a VM that left stays in the list of peers.
         forget_seconds: How long a silent VM that was learned at run time is kept.
-        fanout: Peers to heartbeat in sampled mode, 0 for all of them.
+        fanout: Peers to heartbeat in sampled mode, 0 for all of them. Leases need
+            heartbeats of every holder, so sampled mode serves membership alone.
     """
 
     heartbeat_seconds: float = 0.5
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -0,0 +1,62 @@
+"""The view as last told, and the losses to be told with the next one."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import Vm, VmId
+from kumquatmux_membership.events import ViewChanged
+from kumquatmux_membership.peer import Peer
+
+
+class View:
+    """Works out the view again when a peer turned.
+
+    Attributes:
+        latest: The view as last told.
+        lost: VMs that went ungracefully since then.
+        stale: Whether a peer has turned since then.
+    """
+
+    def __init__(self) -> None:
+        self.latest: tuple[Vm, ...] = ()
+        self.lost: set[VmId] = set()
+        self.stale = False
+
+    def lose(self, peer: Peer) -> None:
+        """Note that a peer went, unless it had said so before."""
+        self.stale = True
+        if not peer.left:
+            self.lost.add(peer.vm.vm)
+
+    def renew(self, me: Vm, peers: Iterable[Peer], *, due: bool) -> ViewChanged | None:
+        """Return the view if it is not what it was.
+
+        Args:
+            me: This VM.
+            peers: All its peers.
+            due: Whether it is to be told even if it did not change.
+        """
+        if not (due or self.stale or self.lost):
+            return None
+        self.stale = False
+        view = tuple(sorted([me, *(peer.vm for peer in peers if peer.live)]))
+        if view == self.latest and not (due or self.lost):
+            return None
+        self._log(view)
+        lost = tuple(sorted(self.lost))
+        self.latest = view
+        self.lost = set()
+        return ViewChanged(view, lost)
+
+    def _log(self, view: tuple[Vm, ...]) -> None:
+        before = {vm.vm for vm in self.latest}
+        after = {vm.vm for vm in view}
+        decisions.log(
+            "view-changed",
+            live=len(view),
+            joined=",".join(sorted(after - before)),
+            gone=",".join(sorted(before - after)),
+            lost=",".join(sorted(self.lost)),
+        )
--- a/libs/membership/src/kumquatmux_membership/wire.py
+++ b/libs/membership/src/kumquatmux_membership/wire.py
@@ -9,6 +9,7 @@
     LeaseAck,
     LeaseRequest,
     LeaseUpdate,
+    Members,
     ProbeAnswer,
     ProbeRequest,
     Superseded,
@@ -23,6 +24,7 @@
     0x0206: Hello,
     0x0207: Superseded,
     0x0208: LeaseAck,
+    0x0209: Members,
 }
 
 MESSAGES = registry(MESSAGE_KINDS)
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -65,6 +65,8 @@
     world.deliver(world.machines[C], Leave())
     world.run(world.now + 0.1)
     assert view(world, A) == [A, B]
+    world.run(world.now + 5)
+    assert view(world, C) == [A, B, C]
     world.stop(C)
     world.run(world.now + 20)
     assert view(world, A) == [A, B]
--- /dev/null
+++ b/libs/membership/tests/test_sampled.py
@@ -0,0 +1,118 @@
+from __future__ import annotations
+
+import pytest
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import VmId, ZoneName
+from kumquatmux_lab.faultruns.membership import FaultRun, make_vms
+from kumquatmux_lab.faultruns.membership_world import NetworkSettings, Tuning, World
+from kumquatmux_membership.events import Leave, Rumour, RumourKind
+from kumquatmux_membership.rumours import Rumours
+from kumquatmux_membership.sampled import ring_neighbours
+from kumquatmux_membership.settings import MembershipSettings
+
+ZONES = (ZoneName("cnx-a"), ZoneName("cnx-b"))
+SAMPLED = MembershipSettings(fanout=4)
+
+
+def started(per_zone=6):
+    network = NetworkSettings(loss=0.0, duplicate=0.0, late=0.0)
+    vms = make_vms(ZONES, per_zone)
+    world = World(vms, 1, Tuning(membership=SAMPLED, network=network))
+    for vm in vms:
+        world.start(vm.vm)
+    world.run(5.0)
+    return world
+
+
+def views(world):
+    return [
+        tuple(vm.vm for vm in machine.process.view)
+        for machine in world.machines.values()
+        if machine.process is not None
+    ]
+
+
+def names(world):
+    return tuple(sorted(world.machines))
+
+
+def test_rings_choose_both_ways_and_keep_to_the_fanout():
+    vms = make_vms(ZONES, 20)
+    chosen = {
+        vm.vm: ring_neighbours(vm, [one for one in vms if one != vm], 8) for vm in vms
+    }
+    assert all(4 <= len(near) <= 8 for near in chosen.values())
+    assert all(one in chosen[two] for one in chosen for two in chosen[one])
+
+
+def test_all_see_all_though_each_hears_a_few():
+    world = started()
+    assert set(views(world)) == {names(world)}
+    memberships = [
+        one.process.coordinator.membership for one in world.machines.values()
+    ]
+    assert max(len(one.neighbours) for one in memberships) <= 4
+
+
+def test_a_loss_a_leave_and_a_restart_reach_those_who_do_not_watch():
+    world = started()
+    dead, leaving, restarted = names(world)[:3]
+    world.stop(dead)
+    world.deliver(world.machines[leaving], Leave())
+    world.stop(restarted)
+    world.start(restarted)
+    world.run(world.now + 6)
+    others = names(world)[3:]
+    expected = tuple(name for name in names(world) if name not in (dead, leaving))
+    for name in others:
+        process = world.process(name)
+        assert tuple(vm.vm for vm in process.view) == expected
+        assert set(process.lost) == {dead, restarted}
+
+
+def test_two_halves_meet_again():
+    world = started()
+    halves = [[vm.vm for vm in world.vms if vm.zone == zone] for zone in ZONES]
+    paths = {(one, two) for one in halves[0] for two in halves[1]}
+    world.cut = paths | {(two, one) for one, two in paths}
+    world.run(world.now + 20)
+    assert set(views(world)) == {tuple(half) for half in halves}
+    world.cut.clear()
+    world.run(world.now + 15)
+    assert set(views(world)) == {names(world)}
+
+
+@pytest.mark.parametrize("seed", [2, 14, 22])
+def test_views_agree_after_faults(seed):
+    decisions.configure(as_json=False, enabled=False)
+    report = FaultRun(seed, Tuning(membership=SAMPLED)).run()
+    decisions.configure(as_json=False, enabled=True)
+    kinds = {violation.split()[0] for violation in report.violations}
+    assert not kinds & {"views-converge", "incarnations-grow"}
+
+
+ORDERED = [
+    Rumour(VmId("a"), 1, RumourKind.ALIVE),
+    Rumour(VmId("a"), 1, RumourKind.LOST),
+    Rumour(VmId("a"), 1, RumourKind.ALIVE, 1),
+    Rumour(VmId("a"), 1, RumourKind.LOST, 1),
+    Rumour(VmId("a"), 1, RumourKind.LEFT, 1),
+    Rumour(VmId("a"), 2, RumourKind.ALIVE),
+]
+
+
+def test_the_later_rumour_wins_in_any_order():
+    for first, second in zip(ORDERED, ORDERED[1:], strict=False):
+        for told in ((first, second), (second, first)):
+            rumours = Rumours()
+            news = [rumours.take(one) for one in told]
+            assert rumours.latest[VmId("a")] == second
+            assert news == [True, told[0] == first]
+
+
+def test_a_rumour_is_passed_on_a_bounded_number_of_times():
+    rumours = Rumours()
+    rumours.take(ORDERED[0])
+    sent = sum(len(rumours.spread()) for _ in range(100))
+    assert 8 <= sent <= 16
