--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -33,7 +33,6 @@
 )
 
 LIFECYCLE_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
-COPIES = 2
 NEAR_BYTES = 1 << 20
 
 
@@ -370,8 +369,16 @@
                 return vm
         return None
 
-    def unresolved(self, segment: Segment, now: float) -> None:
-        """Decide about a packet whose record nobody has."""
+    def unresolved(
+        self, segment: Segment, now: float, *, suspect: bool = False
+    ) -> None:
+        """Decide about a packet whose record nobody has.
+
+        Args:
+            segment: The packet.
+            now: Time in seconds.
+            suspect: Whether a VM that was asked has lately lost another one.
+        """
         state = self.state
         slot = state.table.slots.get(segment.key)
         if slot is not None and state.table.roles[slot] != Role.LEARNED:
@@ -380,7 +387,7 @@
             state.adopt(slot, "learned-from-replies")
             self.with_record(slot, segment, now)
         elif self.starts_flow(segment):
-            self.place_after_search(segment, now)
+            self.place_after_search(segment, now, suspect=suspect)
         elif segment.flags & FLAG_RST:
             state.drop(Refusal.FLOW_UNKNOWN)
         elif self.unsettled(now) or not self.missed_twice(segment, now):
@@ -395,7 +402,7 @@
         if now - ranking.changed < settings.settle_seconds:
             return True
         window = max(settings.cut_hold_seconds, settings.datagram_seconds)
-        if ranking.lost_lately(window, now) < COPIES:
+        if not ranking.lost_lately(window, now):
             return False
         return now - ranking.losses[-1] < settings.cut_hold_seconds
 
@@ -424,7 +431,9 @@
             return
         self.with_record(slot, segment, now)
 
-    def place_after_search(self, segment: Segment, now: float) -> None:
+    def place_after_search(
+        self, segment: Segment, now: float, *, suspect: bool
+    ) -> None:
         """Place a flow that nobody knows, unless its record may have been lost."""
         state = self.state
         if segment.key in state.pending:
@@ -432,7 +441,7 @@
             return
         window = state.settings.datagram_seconds
         lost = state.ranking.lost_lately(window, now)
-        if not segment.is_tcp and lost >= COPIES:
+        if not segment.is_tcp and (lost or suspect):
             state.refuse(segment, Refusal.RECORD_MAYBE_LOST)
             return
         self.ask_placement(segment, epoch=1)
@@ -467,7 +476,7 @@
                 return slot
             if not self.is_better(binding, slot, segment):
                 return slot
-            self.replace(slot, binding, now)
+            self.replace(slot, segment, now)
             slot = None
         elif slot is not None:
             table.remove(slot)
@@ -504,14 +513,24 @@
         here = table.statuses[slot] != FlowStatus.HALF_OPEN
         if binding.established != here:
             return binding.established
+        if self.was_answered(slot):
+            return False
         return binding.server < self.state.address_of(slot)
 
-    def replace(self, slot: int, binding: Binding, now: float) -> None:
+    def was_answered(self, slot: int) -> bool:
+        """Return whether the caller may have this server's half of a handshake."""
+        table = self.state.table
+        if table.statuses[slot] != FlowStatus.HALF_OPEN:
+            return False
+        seen = table.marks[slot] & Mark.SERVER_SEEN
+        return bool(seen) and table.roles[slot] == Role.OWNER
+
+    def replace(self, slot: int, segment: Segment, now: float) -> None:
         """Drop the record that lost, and reset its server's half of the handshake."""
         state = self.state
         key = state.table.keys[slot]
         was_open = state.table.statuses[slot] != FlowStatus.CLOSED
-        if key is not None and was_open and state.permits(slot):
+        if key is not None and was_open and state.permits(slot) and segment.is_tcp:
             seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.address_of(slot), seq))
         state.forget(slot, Refusal.CONFLICT, now)
--- a/libs/flows/src/kumquatmux_flows/events.py
+++ b/libs/flows/src/kumquatmux_flows/events.py
@@ -50,12 +50,15 @@
         hops: How many VMs have passed it on before.
         binding: The record that goes with it, if the stage has one.
         origin: For ``LOOKUP``, the VM that wants the answer.
+        suspect: For ``LOOKUP`` and ``MISS``, whether a VM on the way lately lost
+            another one, which may have had the record.
     """
 
     stage: Stage
     hops: int = 0
     binding: Binding | None = None
     origin: VmId = VmId("")
+    suspect: bool = False
 
 
 class CallerPacket(NamedTuple):
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -10,6 +10,8 @@
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import FlowStatus, Mark, Role
 
+CORRECTED = 1
+
 
 class PeerPath:
     """Stores second copies, answers searches and corrects owners that moved."""
@@ -128,7 +130,7 @@
 
     def correct(self, packet: PeerPacket, slot: int) -> None:
         """Give an owner the better record this VM has, with its packet."""
-        passing = Passing(Stage.ADOPT, 0, self.state.binding(slot))
+        passing = Passing(Stage.ADOPT, CORRECTED, self.state.binding(slot))
         peer = SendToPeer(packet.sender, passing, packet.segment.packet)
         self.state.out.append(peer)
 
@@ -145,7 +147,7 @@
             passing = Passing(Stage.ADOPT, 0, binding)
             state.out.append(SendToPeer(origin, passing, segment.packet))
         elif not self.is_over(segment, now):
-            self.search_on(packet)
+            self.search_on(packet, now)
 
     def found(self, segment: Segment, now: float) -> Binding | None:
         """Return the record here that fits a searched packet."""
@@ -173,14 +175,17 @@
         state.drop(Refusal.QUARANTINED)
         return True
 
-    def search_on(self, packet: PeerPacket) -> None:
+    def search_on(self, packet: PeerPacket, now: float) -> None:
         """Send a search to the next VM, or tell its origin that nobody knows."""
         state = self.state
         hops = packet.passing.hops
         origin = packet.passing.origin
         target = self.callers.lookup_target(packet.segment.key, hops, origin)
         stage = Stage.LOOKUP if target is not None else Stage.MISS
-        passing = Passing(stage, hops + 1, None, origin)
+        window = state.settings.datagram_seconds
+        lost = state.ranking.lost_lately(window, now) > 0
+        suspect = packet.passing.suspect or lost
+        passing = Passing(stage, hops + 1, None, origin, suspect)
         vm = target if target is not None else origin
         state.out.append(SendToPeer(vm, passing, packet.segment.packet))
 
@@ -194,13 +199,18 @@
         if slot is None:
             self.state.drop(Refusal.SERVICE_UNKNOWN)
             return
+        kept = binding is not None and self.state.address_of(slot) != binding.server
+        if kept and packet.passing.hops == CORRECTED:
+            self.state.drop(Refusal.CONFLICT)
+            return
         if self.owns(segment):
             self.state.adopt(slot, "found-at-peer")
         self.callers.after_search(slot, segment, now)
 
     def miss(self, packet: PeerPacket, now: float) -> None:
         """Decide about a packet whose record no live VM has."""
-        self.callers.unresolved(packet.segment, now)
+        suspect = packet.passing.suspect
+        self.callers.unresolved(packet.segment, now, suspect=suspect)
 
     def reply_to_owner(self, packet: PeerPacket, now: float) -> None:
         """Handle a reply another VM passed on."""
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -19,8 +19,8 @@
         datagram_seconds: Idle time after which a UDP flow is dropped.
         copy_refresh_seconds: Age at which a second copy is refreshed by a packet.
         settle_seconds: How long after a view change an unknown flow is not reset.
-        cut_hold_seconds: How long after two losses an unknown flow is not reset,
-            because a reply may still show its server.
+        cut_hold_seconds: How long after a loss an unknown flow is not reset, because
+            a cut may hide its record and a reply may still show its server.
         opening_grace_seconds: How long a new flow holds a slot without caller bytes.
         held_datagrams: UDP datagrams of one flow held while it is being placed.
         pending_limit: Flows held while they are being placed.
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -70,11 +70,11 @@
             return
         state.out.append(ResetServer(segment.key, state.address_of(slot), segment.seq))
         state.out.append(ResetCaller(segment, Refusal.SILENT))
-        self.end(slot, now)
+        self.end(slot, Refusal.SILENT, now)
 
-    def end(self, slot: int, now: float) -> None:
+    def end(self, slot: int, reason: Refusal, now: float) -> None:
         """Close a flow that was reset."""
-        self.state.close(slot, Refusal.SILENT, now)
+        self.state.close(slot, reason, now)
         self.state.table.strikes[slot] = WAS_RESET
 
     def probe(self, slot: int, key: FlowKey, now: float) -> None:
@@ -94,8 +94,8 @@
         state.probes_left -= 1.0
         self.strike(slot, settings.probe_interval_seconds, now)
         if table.strikes[slot] > settings.probe_limit:
-            self.send_resets(slot, key)
-            self.end(slot, now)
+            self.send_resets(slot, key, Refusal.SILENT)
+            self.end(slot, Refusal.SILENT, now)
             return
         self.send_probes(slot, key)
 
@@ -115,21 +115,28 @@
             seq = caller_ack - 1 & SEQUENCE_MASK
             state.out.append(ProbeCaller(key, seq, server_ack))
 
-    def send_resets(self, slot: int, key: FlowKey) -> None:
-        """Send a reset to each end with the numbers known here."""
+    def send_resets(self, slot: int, key: FlowKey, reason: Refusal) -> None:
+        """Send a reset to each end with the numbers known here.
+
+        A caller that has moved on ignores it, but answers the probe with its own
+        numbers, and then gets a reset that carries these.
+        """
         state = self.state
         table = state.table
         server_ack = table.server_acks[slot] or table.caller_nexts[slot]
         caller_ack = table.server_nexts[slot]
-        state.out.append(ResetServer(key, state.address_of(slot), server_ack))
+        if state.permits(slot):
+            state.out.append(ResetServer(key, state.address_of(slot), server_ack))
         segment = Segment(key, FLAG_ACK, server_ack, caller_ack, 0, b"")
-        state.out.append(ResetCaller(segment, Refusal.SILENT))
+        state.out.append(ResetCaller(segment, reason))
+        before = caller_ack - 1 & SEQUENCE_MASK
+        state.out.append(ProbeCaller(key, before, server_ack))
 
     def repeat_reset(self, slot: int, key: FlowKey, now: float) -> None:
         """Reset a silent flow again while its key is in quarantine: resets get lost."""
         state = self.state
         if state.table.strikes[slot] != WAS_RESET or state.probes_left < 1.0:
             return
-        if state.quarantined(slot, now) and state.permits(slot):
+        if state.quarantined(slot, now):
             state.probes_left -= 1.0
-            self.send_resets(slot, key)
+            self.send_resets(slot, key, Refusal.SILENT)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -179,7 +179,11 @@
         if key is None or self.table.roles[slot] == Role.OWNER:
             return
         self.table.set_role(slot, Role.OWNER)
-        self.table.marks[slot] &= Mark.CALLER_FIN | Mark.SERVER_FIN
+        kept = Mark.CALLER_FIN | Mark.SERVER_FIN
+        if self.table.statuses[slot] == FlowStatus.HALF_OPEN:
+            kept |= Mark.SERVER_SEEN
+        self.table.marks[slot] &= kept
+        self.table.strikes[slot] = 0
         if self.table.statuses[slot] != FlowStatus.CLOSED:
             self.out.append(FlowAdopted(key, self.address_of(slot), self.name_of(slot)))
         self.say_slot("flow-adopted", slot, reason)
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import FlowKey, VmId
+from kumquatmux_core.segments import PROTOCOL_TCP
 from kumquatmux_flows.callers import CallerPath
 from kumquatmux_flows.events import (
     Quiet,
@@ -115,12 +116,24 @@
             if not self.state.quarantined(slot, now):
                 table.remove(slot)
         elif not self.state.permits(slot):
-            self.state.forget(slot, Refusal.SERVER_GONE, now)
+            self.strand(slot, key, now)
         elif self.idle(slot, now) > self.idle_limit(slot):
             self.state.forget(slot, Refusal.IDLE, now)
         elif table.roles[slot] != Role.LEARNED:
             self.keep(slot, key, now)
 
+    def strand(self, slot: int, key: FlowKey, now: float) -> None:
+        """Give up a flow whose server's address now serves another service.
+
+        Its caller may wait for an answer and send nothing, so it is reset at once.
+        """
+        table = self.state.table
+        if table.roles[slot] != Role.OWNER or key[0] != PROTOCOL_TCP:
+            self.state.forget(slot, Refusal.SERVER_GONE, now)
+            return
+        self.silence.send_resets(slot, key, Refusal.SERVER_GONE)
+        self.silence.end(slot, Refusal.SERVER_GONE, now)
+
     def idle(self, slot: int, now: float) -> float:
         """Return the seconds since a sign of life of a flow."""
         table = self.state.table
@@ -287,7 +300,7 @@
         if slot is None:
             slot = self.add(record, now)
         elif table.strikes[slot] == WAS_RESET:
-            self.silence.send_resets(slot, record.key)
+            self.silence.send_resets(slot, record.key, Refusal.SILENT)
             return None
         self.refresh(slot, record, now)
         return None
@@ -314,7 +327,8 @@
         state = self.state
         key = state.table.keys[slot]
         was_owner = state.table.roles[slot] == Role.OWNER
-        if key is not None and was_owner and state.permits(slot):
+        is_tcp = state.table.statuses[slot] != FlowStatus.DATAGRAMS
+        if key is not None and was_owner and is_tcp and state.permits(slot):
             seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.address_of(slot), seq))
         state.forget(slot, Refusal.CONFLICT, now)
