Let lost records go everywhere, and check takeovers against packets

Change: LostRecord tells the copy's holder; a taken-over record whose numbers are far from a packet's is searched for elsewhere first; a witness flow is probed where a server has nothing else to answer.

--- a/libs/daemons/src/kumquatmux_daemons/entry/node.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/node.py
@@ -21,7 +21,12 @@
 from kumquatmux_daemons.transport.registry import PlacerDigest
 from kumquatmux_flows import events as flows
 from kumquatmux_flows.engine import FlowEngine
-from kumquatmux_flows.messages import BatchStored, FlowMessage, RecordBatch
+from kumquatmux_flows.messages import (
+    BatchStored,
+    FlowMessage,
+    LostRecord,
+    RecordBatch,
+)
 from kumquatmux_flows.settings import FlowSettings
 from kumquatmux_membership import events as membership
 from kumquatmux_membership.coordinator import Coordinator
@@ -143,6 +148,7 @@
 
     @take.register(RecordBatch)
     @take.register(BatchStored)
+    @take.register(LostRecord)
     def _(self, message: FlowMessage, sender: VmId, now: float) -> None:
         self.forwarder.run(flows.PeerMessage(sender, message), now)
 
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -14,9 +14,11 @@
     Passing,
     ResetCaller,
     ResetServer,
+    SendMessage,
     SendToPeer,
     Stage,
 )
+from kumquatmux_flows.messages import LostRecord
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.routes import place_of
 from kumquatmux_flows.silence import Silence
@@ -34,6 +36,7 @@
 
 LIFECYCLE_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
 NEAR_BYTES = 1 << 20
+WIDE_BYTES = 1 << 28
 
 
 def end_of(segment: Segment) -> int:
@@ -227,15 +230,24 @@
     def contradicts(self, slot: int, segment: Segment) -> bool:
         """Return whether a packet shows that its handshake was with another server."""
         table = self.state.table
-        if table.statuses[slot] != FlowStatus.HALF_OPEN:
-            return False
         if segment.flags & (FLAG_SYN | FLAG_RST) or not segment.flags & FLAG_ACK:
             return False
-        if table.marks[slot] & Mark.SERVER_SEEN:
-            distance = (segment.ack - table.server_nexts[slot]) & SEQUENCE_MASK
-            return min(distance, SEQUENCE_MASK - distance) > NEAR_BYTES
+        seen = table.marks[slot] & Mark.SERVER_SEEN
+        if table.statuses[slot] == FlowStatus.ESTABLISHED:
+            current = seen and table.roles[slot] == Role.OWNER
+            known = table.server_nexts[slot] != 0
+            return known and not current and self.is_far(slot, segment, WIDE_BYTES)
+        if table.statuses[slot] != FlowStatus.HALF_OPEN:
+            return False
+        if seen:
+            return self.is_far(slot, segment, NEAR_BYTES)
         return bool(table.marks[slot] & Mark.PLACED)
 
+    def is_far(self, slot: int, segment: Segment, limit: int) -> bool:
+        """Return whether an acknowledgement does not fit what a server has sent."""
+        distance = (segment.ack - self.state.table.server_nexts[slot]) & SEQUENCE_MASK
+        return min(distance, SEQUENCE_MASK - distance) > limit
+
     def forward(self, slot: int, segment: Segment, now: float) -> None:
         """Send a packet to its server, by the backup while that lacks the record."""
         state = self.state
@@ -426,10 +438,13 @@
 
     def after_search(self, slot: int, segment: Segment, now: float) -> None:
         """Go on with this VM's record after a search found no better one."""
-        if self.contradicts(slot, segment):
+        status = self.state.table.statuses[slot]
+        if not self.contradicts(slot, segment) or not self.state.permits(slot):
+            self.with_record(slot, segment, now)
+        elif status == FlowStatus.HALF_OPEN:
             self.state.drop(Refusal.CONFLICT)
-            return
-        self.with_record(slot, segment, now)
+        else:
+            self.forward(slot, segment, now)
 
     def place_after_search(
         self, segment: Segment, now: float, *, suspect: bool
@@ -456,8 +471,7 @@
             return age < self.state.settings.learned_fresh_seconds
         if not segment.flags & FLAG_ACK:
             return False
-        distance = (segment.ack - table.server_nexts[slot]) & SEQUENCE_MASK
-        return min(distance, SEQUENCE_MASK - distance) < NEAR_BYTES
+        return not self.is_far(slot, segment, WIDE_BYTES)
 
     def take_binding(
         self, binding: Binding, segment: Segment, role: Role, now: float
@@ -533,8 +547,19 @@
         if key is not None and was_open and state.permits(slot) and segment.is_tcp:
             seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.address_of(slot), seq))
+        self.drop_copy(slot)
         state.forget(slot, Refusal.CONFLICT, now)
 
+    def drop_copy(self, slot: int) -> None:
+        """Tell the holder of the second copy that the record has lost."""
+        state = self.state
+        key = state.table.keys[slot]
+        holder = self.backup_of(slot)
+        if key is None or holder is None:
+            return
+        lost = LostRecord(key, state.address_of(slot))
+        state.out.append(SendMessage(holder, lost))
+
     def add_binding(
         self, binding: Binding, segment: Segment, role: Role, now: float
     ) -> int | None:
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -122,6 +122,8 @@
             self.sweep.take_batch(event.sender, event.message, now)
         elif isinstance(event.message, BatchStored):
             self.sweep.take_confirmation(event.sender, event.message, now)
+        else:
+            self.sweep.take_lost(event.message, now)
 
     @apply.register
     def _(self, event: ViewChanged, now: float) -> None:
@@ -298,7 +300,8 @@
         marks = table.marks[slot]
         if not marks & CONFIRMED and table.copies[slot] != NO_VM:
             return False
-        if table.strikes[slot] or marks & WORKING or ack != table.server_acks[slot]:
+        told = ack == table.server_acks[slot] and not self.silence.asked
+        if not told or marks & WORKING or table.strikes[slot]:
             self.silence.answered(slot, ack, now)
         if payload_length and marks & WORKING:
             self.state.answer_work(slot)
--- a/libs/flows/src/kumquatmux_flows/messages.py
+++ b/libs/flows/src/kumquatmux_flows/messages.py
@@ -48,9 +48,25 @@
     better: tuple[FlowRecord, ...] = ()
 
 
-FlowMessage = RecordBatch | BatchStored
+class LostRecord(NamedTuple):
+    """A record lost against another of its key; its second copy is to go.
 
-MESSAGE_TYPES: dict[int, type] = {0x0101: RecordBatch, 0x0102: BatchStored}
+    Attributes:
+        key: The flow.
+        server: The backend server it is not bound to any more.
+    """
+
+    key: FlowKey
+    server: Address
+
+
+FlowMessage = RecordBatch | BatchStored | LostRecord
+
+MESSAGE_TYPES: dict[int, type] = {
+    0x0101: RecordBatch,
+    0x0102: BatchStored,
+    0x0103: LostRecord,
+}
 """Message types by kind, to be merged into the registry of a channel."""
 
 FLOW_MESSAGES = registry(MESSAGE_TYPES)
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from kumquatmux_core.segments import FLAG_FIN, FLAG_RST, Segment
+from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, Segment
 from kumquatmux_flows.callers import CallerPath
 from kumquatmux_flows.events import Binding, Passing, PeerPacket, SendToPeer, Stage
 from kumquatmux_flows.refusals import Refusal
@@ -118,6 +118,8 @@
         table = self.state.table
         table.caller_times[slot] = now
         table.copy_times[slot] = now
+        if segment.flags & FLAG_ACK:
+            table.server_nexts[slot] = segment.ack
         if segment.opens:
             if table.caller_isns[slot] != segment.seq:
                 table.marks[slot] = 0
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -17,6 +17,7 @@
     WAS_RESET,
     FlowStatus,
     Mark,
+    Role,
     is_after,
     is_at_least,
 )
@@ -27,11 +28,18 @@
 
     A strike is a retransmission or a probe without answer. It counts only when the
     server answered another flow's packet of this VM in the meantime: a server that is
-    busy, gone or cut off answers nobody, and that is no fault of one flow.
+    busy, gone or cut off answers nobody, and that is no fault of one flow. Where no
+    other flow has anything to be answered, one of them is probed as a witness.
+
+    Attributes:
+        witnesses: The flow each server number answered last.
+        asked: Server numbers whose witness was probed and has not answered.
     """
 
     def __init__(self, state: FlowState) -> None:
         self.state = state
+        self.witnesses: dict[int, FlowKey] = {}
+        self.asked: set[int] = set()
 
     def answered(self, slot: int, ack: int, now: float) -> None:
         """Note a reply: it ends the silence if it acknowledges all, or more."""
@@ -44,9 +52,46 @@
         if not whole and not progress:
             return
         if table.strikes[slot] or (whole and table.marks[slot] & Mark.WORKING):
-            self.state.routes.answered[table.servers[slot]] = now
+            self.note_answer(slot, now)
+        elif table.servers[slot] in self.asked:
+            self.take_witness(slot, now)
         table.strikes[slot] = 0
 
+    def note_answer(self, slot: int, now: float) -> None:
+        """Remember that a server answered a packet of this VM."""
+        table = self.state.table
+        key = table.keys[slot]
+        server = table.servers[slot]
+        self.state.routes.answered[server] = now
+        if key is not None:
+            self.witnesses[server] = key
+        self.asked.discard(server)
+
+    def take_witness(self, slot: int, now: float) -> None:
+        """Note the answer of the flow that was probed as a witness."""
+        table = self.state.table
+        if self.witnesses.get(table.servers[slot]) == table.keys[slot]:
+            self.note_answer(slot, now)
+
+    def ask_witness(self, slot: int) -> None:
+        """Probe another flow of a server, to learn whether it answers anybody."""
+        state = self.state
+        table = state.table
+        server = table.servers[slot]
+        key = self.witnesses.get(server)
+        other = None if key is None else table.slots.get(key)
+        if key is None or other is None or other == slot or state.probes_left < 1.0:
+            return
+        if table.roles[other] != Role.OWNER or table.servers[other] != server:
+            return
+        if table.statuses[other] != FlowStatus.ESTABLISHED:
+            return
+        state.probes_left -= 1.0
+        self.asked.add(server)
+        seq = table.server_acks[other] - 1 & SEQUENCE_MASK
+        ack = table.server_nexts[other]
+        state.out.append(ProbeServer(key, state.address_of(other), seq, ack))
+
     def strike(self, slot: int, gap: float, now: float) -> None:
         """Note a retransmission or probe, at most one in a gap of seconds."""
         state = self.state
@@ -59,6 +104,7 @@
         elif state.routes.answered[table.servers[slot]] > latest:
             table.strikes[slot] = min(table.strikes[slot] + 1, WAS_RESET - 1)
         table.strike_times[slot] = now
+        self.ask_witness(slot)
 
     def retransmitted(self, slot: int, segment: Segment, now: float) -> None:
         """Note a retransmission, and reset the flow when it was one too many."""
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -12,7 +12,12 @@
     ResetServer,
     SendMessage,
 )
-from kumquatmux_flows.messages import BatchStored, FlowRecord, RecordBatch
+from kumquatmux_flows.messages import (
+    BatchStored,
+    FlowRecord,
+    LostRecord,
+    RecordBatch,
+)
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
@@ -331,8 +336,19 @@
         if key is not None and was_owner and is_tcp and state.permits(slot):
             seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.address_of(slot), seq))
+        if was_owner:
+            self.callers.drop_copy(slot)
         state.forget(slot, Refusal.CONFLICT, now)
 
+    def take_lost(self, lost: LostRecord, now: float) -> None:
+        """Drop the second copy of a record that lost against another."""
+        state = self.state
+        slot = state.table.slots.get(lost.key)
+        if slot is None or state.table.roles[slot] == Role.OWNER:
+            return
+        if state.address_of(slot) == lost.server:
+            state.forget(slot, Refusal.CONFLICT, now)
+
     def add(self, record: FlowRecord, now: float) -> int:
         """Return the slot of a record that was not here."""
         state = self.state
