--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -0,0 +1,237 @@
+"""Records that travel in paced batches, for flows whose packets do not bring them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import VmId
+from kumquatmux_flows.bindings import Bindings
+from kumquatmux_flows.events import ResetServer, SendMessage
+from kumquatmux_flows.messages import (
+    BatchStored,
+    FlowRecord,
+    LostRecord,
+    RecordBatch,
+)
+from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.routes import place_of
+from kumquatmux_flows.silence import Silence
+from kumquatmux_flows.state import FlowState
+from kumquatmux_flows.table import WAS_RESET, FlowStatus, Mark, Role
+
+RECORD_BYTES = 56
+BATCH_BYTES = 24
+BURST_SECONDS = 1.0
+
+
+class SentBatch(NamedTuple):
+    """A batch that is not confirmed yet.
+
+    Attributes:
+        vm: Who was sent it.
+        until: When it is given up, in seconds.
+        records: What it carried.
+    """
+
+    vm: VmId
+    until: float
+    records: tuple[FlowRecord, ...]
+
+
+class Batches:
+    """Sends and takes batches of records within a budget of bytes.
+
+    Attributes:
+        sent: Batches that wait for their confirmation, by number.
+        bytes_left: What may be sent now.
+    """
+
+    def __init__(self, state: FlowState, bindings: Bindings, silence: Silence) -> None:
+        self.state = state
+        self.bindings = bindings
+        self.silence = silence
+        self.bytes_left = 0.0
+        self.number = 0
+        self.sent: dict[int, SentBatch] = {}
+        self.open: dict[VmId, list[FlowRecord]] = {}
+
+    def refill(self, elapsed: float) -> None:
+        """Add to the budget what the time allows."""
+        rate = self.state.settings.repair_bytes_per_second
+        full = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_BYTES)
+        self.bytes_left = min(self.bytes_left + rate * elapsed, full)
+
+    def flush_all(self, now: float) -> None:
+        """Send every batch that has begun."""
+        for vm in list(self.open):
+            self.flush(vm, now)
+
+    def collect(self, slot: int, vm: VmId, now: float) -> None:
+        """Add a record to the batch for a VM, if the budget allows."""
+        if self.bytes_left < RECORD_BYTES:
+            return
+        batch = self.open.setdefault(vm, [])
+        self.bytes_left -= RECORD_BYTES + (0 if batch else BATCH_BYTES)
+        batch.append(self.record(slot, now))
+        if len(batch) >= self.state.settings.batch_records:
+            self.flush(vm, now)
+
+    def record(self, slot: int, now: float) -> FlowRecord:
+        """Return a record as it travels in a batch."""
+        state = self.state
+        table = state.table
+        key = table.keys[slot]
+        if key is None:
+            raise ValueError(f"slot {slot} holds no flow")
+        return FlowRecord(
+            key,
+            state.address_of(slot),
+            state.name_of(slot),
+            table.revisions[slot],
+            table.epochs[slot],
+            table.statuses[slot],
+            int(max(self.state.idle(slot, now), 0.0)),
+            table.server_acks[slot],
+            table.server_nexts[slot],
+        )
+
+    def flush(self, vm: VmId, now: float) -> None:
+        """Send the batch for a VM."""
+        records = tuple(self.open.pop(vm))
+        self.number += 1
+        until = now + self.state.settings.batch_timeout_seconds
+        self.sent[self.number] = SentBatch(vm, until, records)
+        self.state.out.append(SendMessage(vm, RecordBatch(self.number, records)))
+
+    def end_batches(self, now: float) -> None:
+        """Forget batches that were not confirmed in time."""
+        late = [number for number, sent in self.sent.items() if sent.until <= now]
+        for number in late:
+            del self.sent[number]
+
+    def take_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
+        """Keep the records another VM gives."""
+        better = []
+        for record in batch.records:
+            kept = self.take_record(record, now, trusted=False)
+            if kept is not None:
+                better.append(kept)
+        answer = BatchStored(batch.number, tuple(better))
+        self.state.out.append(SendMessage(sender, answer))
+
+    def take_record(
+        self, record: FlowRecord, now: float, *, trusted: bool
+    ) -> FlowRecord | None:
+        """Keep one record, or return the better one that is here."""
+        state = self.state
+        table = state.table
+        slot = table.slots.get(record.key)
+        if slot is not None and table.roles[slot] == Role.LEARNED:
+            table.remove(slot)
+            slot = None
+        if slot is not None and state.address_of(slot) != record.server:
+            if not trusted and not self.is_better(record, slot, now):
+                return self.record(slot, now)
+            self.lose(slot, now)
+            slot = None
+        if slot is None:
+            slot = self.add(record, now)
+        elif table.strikes[slot] == WAS_RESET:
+            self.silence.send_resets(slot, record.key, Refusal.SILENT)
+            return None
+        self.refresh(slot, record, now)
+        return None
+
+    def is_better(self, record: FlowRecord, slot: int, now: float) -> bool:
+        """Return whether a record wins over the one here."""
+        state = self.state
+        table = state.table
+        status = table.statuses[slot]
+        if status == FlowStatus.CLOSED or not state.permits(slot):
+            return True
+        if record.epoch != table.epochs[slot]:
+            return record.epoch > table.epochs[slot]
+        opened = record.status != FlowStatus.HALF_OPEN
+        if opened != (status != FlowStatus.HALF_OPEN):
+            return opened
+        idle = int(max(self.state.idle(slot, now), 0.0))
+        if record.idle != idle:
+            return record.idle < idle
+        return record.server < state.address_of(slot)
+
+    def lose(self, slot: int, now: float) -> None:
+        """Drop the record that lost against another VM's."""
+        state = self.state
+        key = state.table.keys[slot]
+        was_owner = state.table.roles[slot] == Role.OWNER
+        is_tcp = state.table.statuses[slot] != FlowStatus.DATAGRAMS
+        if key is not None and was_owner and is_tcp and state.permits(slot):
+            seq = state.table.server_acks[slot]
+            state.out.append(ResetServer(key, state.address_of(slot), seq))
+        if was_owner:
+            self.bindings.drop_copy(slot)
+        state.forget(slot, Refusal.CONFLICT, now)
+
+    def take_lost(self, lost: LostRecord, now: float) -> None:
+        """Drop the second copy of a record that lost against another."""
+        state = self.state
+        slot = state.table.slots.get(lost.key)
+        if slot is None or state.table.roles[slot] == Role.OWNER:
+            return
+        if state.address_of(slot) == lost.server:
+            state.forget(slot, Refusal.CONFLICT, now)
+
+    def add(self, record: FlowRecord, now: float) -> int:
+        """Return the slot of a record that was not here."""
+        state = self.state
+        table = state.table
+        place = place_of(record.key)
+        service = state.routes.service(record.service, place)
+        server = state.routes.server(record.server, record.service)
+        slot = table.add(record.key, Role.COPY, server, service)
+        table.statuses[slot] = record.status
+        table.server_acks[slot] = record.server_ack
+        table.caller_nexts[slot] = record.server_ack
+        table.server_nexts[slot] = record.caller_ack
+        table.caller_times[slot] = now - record.idle
+        if record.caller_ack:
+            table.marks[slot] |= Mark.SERVER_SEEN
+        return slot
+
+    def refresh(self, slot: int, record: FlowRecord, now: float) -> None:
+        """Bring a record here up to date with one from its owner."""
+        table = self.state.table
+        table.epochs[slot] = max(table.epochs[slot], record.epoch)
+        table.revisions[slot] = max(table.revisions[slot], record.revision)
+        table.copy_times[slot] = now
+        if table.statuses[slot] == FlowStatus.HALF_OPEN:
+            table.statuses[slot] = record.status
+        place = self.state.routes.places[table.services[slot]]
+        if self.state.ranking.owns(place):
+            self.state.adopt(slot, "handed-over")
+
+    def take_confirmation(self, sender: VmId, stored: BatchStored, now: float) -> None:
+        """Note that another VM keeps the records of a batch."""
+        sent = self.sent.pop(stored.number, None)
+        if sent is None or sent.vm != sender:
+            return
+        better = {record.key for record in stored.better}
+        for record in sent.records:
+            slot = self.state.table.slots.get(record.key)
+            if slot is not None and record.key not in better:
+                self.confirm(slot, sender, now)
+        for record in stored.better:
+            self.take_record(record, now, trusted=True)
+
+    def confirm(self, slot: int, vm: VmId, now: float) -> None:
+        """Note that a VM keeps one record."""
+        state = self.state
+        table = state.table
+        table.copy_times[slot] = now
+        if table.roles[slot] != Role.OWNER:
+            return
+        table.copies[slot] = state.ranking.number(vm)
+        table.marks[slot] |= Mark.CONFIRMED
+        place = state.routes.places[table.services[slot]]
+        if state.ranking.rank(place)[:1] == [vm]:
+            state.yield_role(slot, Role.COPY, "owner-moved")
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -0,0 +1,136 @@
+"""Records that come with packets, and which of two is kept."""
+
+from __future__ import annotations
+
+from kumquatmux_core.segments import Segment
+from kumquatmux_flows.copies import Copies
+from kumquatmux_flows.events import Binding, ResetServer, SendMessage
+from kumquatmux_flows.evidence import Evidence
+from kumquatmux_flows.messages import LostRecord
+from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.state import FlowState
+from kumquatmux_flows.table import FlowStatus, Mark, Role
+
+
+class Bindings:
+    """Stores what other VMs know of a flow.
+
+    A higher epoch wins, then a finished handshake, then the lower server address: the
+    same on every VM.
+    """
+
+    def __init__(self, state: FlowState, copies: Copies, evidence: Evidence) -> None:
+        self.state = state
+        self.copies = copies
+        self.evidence = evidence
+
+    def take_binding(
+        self, binding: Binding, segment: Segment, role: Role, now: float
+    ) -> int | None:
+        """Store a record that came with a packet, unless the one here is better.
+
+        Returns:
+            The slot of the record, None when no service is known for it.
+        """
+        state = self.state
+        table = state.table
+        slot = table.slots.get(segment.key)
+        if slot is not None and table.roles[slot] != Role.LEARNED:
+            if state.address_of(slot) == binding.server:
+                self.merge(slot, binding)
+                return slot
+            if not self.is_better(binding, slot, segment):
+                return slot
+            self.replace(slot, segment, now)
+            slot = None
+        elif slot is not None:
+            table.remove(slot)
+        return self.add_binding(binding, segment, role, now)
+
+    def merge(self, slot: int, binding: Binding) -> None:
+        """Take over what a binding knows more about the same server."""
+        table = self.state.table
+        if binding.epoch > table.epochs[slot]:
+            table.epochs[slot] = binding.epoch
+            if table.statuses[slot] == FlowStatus.CLOSED:
+                self.reopen(slot)
+        if binding.established and table.statuses[slot] == FlowStatus.HALF_OPEN:
+            table.statuses[slot] = FlowStatus.ESTABLISHED
+
+    def reopen(self, slot: int) -> None:
+        """Start over with a new flow of the same key on the same server."""
+        table = self.state.table
+        epoch = table.epochs[slot]
+        table.clear(slot)
+        table.epochs[slot] = epoch
+
+    def is_better(self, binding: Binding, slot: int, segment: Segment) -> bool:
+        """Return whether a binding wins over the record here."""
+        table = self.state.table
+        if not self.state.permits(slot) or self.evidence.contradicts(slot, segment):
+            return True
+        if table.statuses[slot] == FlowStatus.CLOSED:
+            return True
+        if binding.epoch != table.epochs[slot]:
+            return binding.epoch > table.epochs[slot]
+        if segment.opens and segment.seq != table.caller_isns[slot]:
+            return True
+        here = table.statuses[slot] != FlowStatus.HALF_OPEN
+        if binding.established != here:
+            return binding.established
+        if self.was_answered(slot):
+            return False
+        return binding.server < self.state.address_of(slot)
+
+    def was_answered(self, slot: int) -> bool:
+        """Return whether the caller may have this server's half of a handshake."""
+        table = self.state.table
+        if table.statuses[slot] != FlowStatus.HALF_OPEN:
+            return False
+        seen = table.marks[slot] & Mark.SERVER_SEEN
+        return bool(seen) and table.roles[slot] == Role.OWNER
+
+    def replace(self, slot: int, segment: Segment, now: float) -> None:
+        """Drop the record that lost, and reset its server's half of the handshake."""
+        state = self.state
+        key = state.table.keys[slot]
+        was_open = state.table.statuses[slot] != FlowStatus.CLOSED
+        if key is not None and was_open and state.permits(slot) and segment.is_tcp:
+            seq = state.table.server_acks[slot]
+            state.out.append(ResetServer(key, state.address_of(slot), seq))
+        self.drop_copy(slot)
+        state.forget(slot, Refusal.CONFLICT, now)
+
+    def drop_copy(self, slot: int) -> None:
+        """Tell the holder of the second copy that the record has lost."""
+        state = self.state
+        key = state.table.keys[slot]
+        holder = self.copies.backup_of(slot)
+        if key is None or holder is None:
+            return
+        lost = LostRecord(key, state.address_of(slot))
+        state.out.append(SendMessage(holder, lost))
+
+    def add_binding(
+        self, binding: Binding, segment: Segment, role: Role, now: float
+    ) -> int | None:
+        """Store a record that came with a packet."""
+        state = self.state
+        service = state.service_named(segment.key, binding.service)
+        if service is None:
+            return None
+        table = state.table
+        name = state.routes.names[service]
+        server = state.routes.server(binding.server, name)
+        slot = table.add(segment.key, Role.COPY, server, service)
+        table.epochs[slot] = binding.epoch
+        table.revisions[slot] = binding.revision
+        table.caller_times[slot] = now
+        table.copy_times[slot] = now
+        if not segment.is_tcp:
+            table.statuses[slot] = FlowStatus.DATAGRAMS
+        elif binding.established:
+            table.statuses[slot] = FlowStatus.ESTABLISHED
+        if role == Role.OWNER:
+            state.adopt(slot, "found-at-peer")
+        return slot
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -0,0 +1,77 @@
+"""Second copies: where they belong and how packets bring them there."""
+
+from __future__ import annotations
+
+from kumquatmux_core.identity import VmId
+from kumquatmux_core.segments import Segment
+from kumquatmux_flows.events import Passing, SendToPeer, Stage
+from kumquatmux_flows.state import FlowState
+from kumquatmux_flows.table import (
+    NO_VM,
+    FlowStatus,
+    Mark,
+    end_of,
+    is_at_least,
+)
+
+
+class Copies:
+    """Keeps the record of each owned flow on its backup."""
+
+    def __init__(self, state: FlowState) -> None:
+        self.state = state
+
+    def copy_ready(self, slot: int, now: float) -> bool:
+        """Return whether the second copy is in place and recent."""
+        table = self.state.table
+        backup = self.backup_number(slot)
+        if backup == NO_VM:
+            return True
+        if table.copies[slot] != backup or not table.marks[slot] & Mark.CONFIRMED:
+            return False
+        age = now - table.copy_times[slot]
+        return age < self.state.settings.copy_refresh_seconds
+
+    def backup_of(self, slot: int) -> VmId | None:
+        """Return the VM that should hold the second copy."""
+        routes = self.state.routes
+        place = routes.places[self.state.table.services[slot]]
+        zone = routes.zones[self.state.table.servers[slot]]
+        return self.state.ranking.backup(place, zone)
+
+    def backup_number(self, slot: int) -> int:
+        """Return the small number of the VM that should hold the second copy."""
+        return self.state.ranking.number(self.backup_of(slot))
+
+    def by_backup(self, slot: int, segment: Segment, now: float) -> None:
+        """Pass a packet and its record to the backup, which forwards it."""
+        state = self.state
+        backup = self.backup_of(slot)
+        if backup is None:
+            state.to_server(slot, segment)
+            return
+        self.note_copy(slot, end_of(segment), now)
+        passing = Passing(Stage.STORE, 0, state.binding(slot))
+        state.out.append(SendToPeer(backup, passing, segment.packet))
+
+    def note_copy(self, slot: int, seq: int, now: float) -> None:
+        """Remember that the backup was sent the record with a packet."""
+        table = self.state.table
+        backup = self.backup_number(slot)
+        if table.copies[slot] != backup:
+            table.copies[slot] = backup
+            table.marks[slot] &= ~Mark.CONFIRMED & 0xFF
+        if not table.marks[slot] & Mark.CONFIRMED:
+            table.copy_seqs[slot] = seq
+        table.copy_times[slot] = now
+
+    def confirm_copy(self, slot: int, ack: int) -> None:
+        """Note that a reply proves that the backup forwarded a packet."""
+        table = self.state.table
+        marks = table.marks[slot]
+        if marks & Mark.CONFIRMED or table.copies[slot] == NO_VM:
+            return
+        if table.statuses[slot] == FlowStatus.DATAGRAMS:
+            table.marks[slot] |= Mark.CONFIRMED
+        elif is_at_least(ack, table.copy_seqs[slot]):
+            table.marks[slot] |= Mark.CONFIRMED
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -7,7 +7,7 @@
 
 from kumquatmux_core.identity import FlowKey, VmId, ZoneName
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
-from kumquatmux_flows.callers import NEAR_BYTES, CallerPath
+from kumquatmux_flows.callers import CallerPath
 from kumquatmux_flows.events import (
     Action,
     CallerPacket,
@@ -26,6 +26,7 @@
     Tick,
     ViewChanged,
 )
+from kumquatmux_flows.evidence import NEAR_BYTES
 from kumquatmux_flows.messages import BatchStored, RecordBatch
 from kumquatmux_flows.peers import PeerPath
 from kumquatmux_flows.replies import ReplyPath
@@ -119,11 +120,11 @@
     @apply.register
     def _(self, event: PeerMessage, now: float) -> None:
         if isinstance(event.message, RecordBatch):
-            self.sweep.take_batch(event.sender, event.message, now)
+            self.sweep.batches.take_batch(event.sender, event.message, now)
         elif isinstance(event.message, BatchStored):
-            self.sweep.take_confirmation(event.sender, event.message, now)
+            self.sweep.batches.take_confirmation(event.sender, event.message, now)
         else:
-            self.sweep.take_lost(event.message, now)
+            self.sweep.batches.take_lost(event.message, now)
 
     @apply.register
     def _(self, event: ViewChanged, now: float) -> None:
@@ -142,7 +143,7 @@
 
     @apply.register
     def _(self, event: FlowRefused, now: float) -> None:
-        self.callers.refused(event)
+        self.callers.placing.refused(event)
 
     @apply.register
     def _(self, event: Tick, now: float) -> None:
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -0,0 +1,50 @@
+"""Whether a packet's numbers fit the record of its flow."""
+
+from __future__ import annotations
+
+from kumquatmux_core.segments import FLAG_ACK, FLAG_RST, FLAG_SYN, Segment
+from kumquatmux_flows.state import FlowState
+from kumquatmux_flows.table import SEQUENCE_MASK, FlowStatus, Mark, Role
+
+NEAR_BYTES = 1 << 20
+WIDE_BYTES = 1 << 28
+
+
+class Evidence:
+    """Compares acknowledgements with what a server is known to have sent."""
+
+    def __init__(self, state: FlowState) -> None:
+        self.state = state
+
+    def contradicts(self, slot: int, segment: Segment) -> bool:
+        """Return whether a packet shows that its handshake was with another server."""
+        table = self.state.table
+        if segment.flags & (FLAG_SYN | FLAG_RST) or not segment.flags & FLAG_ACK:
+            return False
+        seen = table.marks[slot] & Mark.SERVER_SEEN
+        if table.statuses[slot] == FlowStatus.ESTABLISHED:
+            current = seen and table.roles[slot] == Role.OWNER
+            known = table.server_nexts[slot] != 0
+            return known and not current and self.is_far(slot, segment, WIDE_BYTES)
+        if table.statuses[slot] != FlowStatus.HALF_OPEN:
+            return False
+        if seen:
+            return self.is_far(slot, segment, NEAR_BYTES)
+        return bool(table.marks[slot] & Mark.PLACED)
+
+    def is_far(self, slot: int, segment: Segment, limit: int) -> bool:
+        """Return whether an acknowledgement does not fit what a server has sent."""
+        distance = (segment.ack - self.state.table.server_nexts[slot]) & SEQUENCE_MASK
+        return min(distance, SEQUENCE_MASK - distance) > limit
+
+    def matches(self, slot: int, segment: Segment, now: float) -> bool:
+        """Return whether a packet fits a record only learned from replies."""
+        table = self.state.table
+        if not self.state.permits(slot) or segment.opens:
+            return False
+        if not segment.is_tcp:
+            age = now - table.reply_times[slot]
+            return age < self.state.settings.learned_fresh_seconds
+        if not segment.flags & FLAG_ACK:
+            return False
+        return not self.is_far(slot, segment, WIDE_BYTES)
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -88,7 +88,7 @@
             self.state.drop(Refusal.FLOW_UNKNOWN)
             return
         segment = packet.segment
-        slot = self.callers.take_binding(binding, segment, Role.COPY, now)
+        slot = self.callers.bindings.take_binding(binding, segment, Role.COPY, now)
         if slot is None:
             self.state.drop(Refusal.SERVICE_UNKNOWN)
         elif not self.state.permits(slot):
@@ -111,7 +111,7 @@
             state.close(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
             table.marks[slot] |= Mark.CALLER_FIN
-            self.callers.closing(slot, now)
+            self.callers.tracking.closing(slot, now)
 
     def follow(self, slot: int, segment: Segment, now: float) -> None:
         """Note what a stored packet shows of its flow."""
@@ -160,9 +160,9 @@
         if state.table.statuses[slot] == FlowStatus.CLOSED:
             return None
         if state.table.roles[slot] == Role.LEARNED:
-            fits = self.callers.matches(slot, segment, now)
+            fits = self.callers.evidence.matches(slot, segment, now)
             return state.binding(slot)._replace(epoch=0) if fits else None
-        if self.callers.contradicts(slot, segment):
+        if self.callers.evidence.contradicts(slot, segment):
             return None
         return state.binding(slot)
 
@@ -197,7 +197,7 @@
         segment = packet.segment
         slot = None
         if binding is not None:
-            slot = self.callers.take_binding(binding, segment, Role.OWNER, now)
+            slot = self.callers.bindings.take_binding(binding, segment, Role.OWNER, now)
         if slot is None:
             self.state.drop(Refusal.SERVICE_UNKNOWN)
             return
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -0,0 +1,122 @@
+"""New flows: held once while a server is chosen, then bound or refused."""
+
+from __future__ import annotations
+
+from kumquatmux_core.identity import FlowKey
+from kumquatmux_core.segments import FLAG_RST, Segment
+from kumquatmux_flows.events import (
+    AskPlacement,
+    CancelPlacement,
+    FlowClosed,
+    FlowPlaced,
+    FlowRefused,
+    ResetCaller,
+)
+from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.state import FlowState, Grace, Pending
+from kumquatmux_flows.table import FlowStatus, Mark, Role
+
+
+class Placing:
+    """Asks for servers; nothing of a held flow has been forwarded."""
+
+    def __init__(self, state: FlowState) -> None:
+        self.state = state
+
+    def while_pending(self, segment: Segment) -> None:
+        """Handle a further packet of a flow that waits for placement."""
+        state = self.state
+        pending = state.pending[segment.key]
+        if segment.flags & FLAG_RST:
+            del state.pending[segment.key]
+            state.out.append(CancelPlacement(segment.key))
+            state.say("flow-cancelled", segment.key, "none", "reset-by-caller")
+        elif segment.is_tcp:
+            state.drop(Refusal.DUPLICATE)
+        elif len(pending.segments) < state.settings.held_datagrams:
+            pending.segments.append(segment)
+        else:
+            state.drop(Refusal.HELD_FULL)
+
+    def ask_placement(self, segment: Segment, epoch: int) -> None:
+        """Hold the first packet of a flow and ask for a server."""
+        state = self.state
+        service = state.service_of(segment.key)
+        if service is None:
+            self.refuse_unknown_service(segment)
+        elif state.table.kept >= state.settings.flow_limit:
+            state.refuse(segment, Refusal.TABLE_FULL)
+        elif len(state.pending) >= state.settings.pending_limit:
+            state.refuse(segment, Refusal.TABLE_FULL)
+        else:
+            state.pending[segment.key] = Pending([segment], service, epoch)
+            state.out.append(AskPlacement(segment.key, state.routes.names[service]))
+
+    def refuse_unknown_service(self, segment: Segment) -> None:
+        """Refuse a packet for a service address that is not in force here."""
+        state = self.state
+        if state.routes.revision < 0:
+            state.drop(Refusal.TABLE_STALE)
+            return
+        state.refuse(segment, Refusal.SERVICE_UNKNOWN)
+
+    def misplaced(self, event: FlowPlaced, pending: Pending) -> None:
+        """Ask again when the chosen server may not get the flow; nothing was sent."""
+        state = self.state
+        name = state.routes.names[pending.service]
+        state.out.append(FlowClosed(event.key, event.server))
+        state.refresh(Refusal.SERVER_GONE, name, event.server)
+        if pending.attempts < state.settings.placement_attempts:
+            retry = pending._replace(attempts=pending.attempts + 1)
+            state.pending[event.key] = retry
+            state.out.append(AskPlacement(event.key, name))
+            return
+        for segment in pending.segments:
+            state.refuse(segment, Refusal.SERVER_GONE)
+
+    def refused(self, event: FlowRefused) -> None:
+        """Tell the caller that placement has no server for its flow."""
+        pending = self.state.pending.pop(event.key, None)
+        if pending is None:
+            return
+        for segment in pending.segments:
+            self.state.out.append(ResetCaller(segment, event.reason))
+        self.state.say("flow-refused", event.key, "none", event.reason)
+
+    def new_record(self, key: FlowKey, server: int, pending: Pending) -> int:
+        """Return the slot of a flow that this VM placed."""
+        state = self.state
+        table = state.table
+        old = table.slots.get(key)
+        if old is not None:
+            table.remove(old)
+        slot = table.add(key, Role.OWNER, server, pending.service)
+        table.epochs[slot] = pending.epoch
+        table.revisions[slot] = max(state.routes.revision, 0)
+        table.marks[slot] = Mark.PLACED
+        if not pending.segments[0].is_tcp:
+            table.statuses[slot] = FlowStatus.DATAGRAMS
+        return slot
+
+    def bind(self, event: FlowPlaced, now: float) -> list[Segment]:
+        """Bind a flow to the server placement chose.
+
+        Returns:
+            The held packets to forward, none if the flow is not bound.
+        """
+        state = self.state
+        pending = state.pending.pop(event.key, None)
+        if pending is None:
+            state.out.append(FlowClosed(event.key, event.server))
+            return []
+        server = state.routes.server(event.server, state.routes.names[pending.service])
+        if not state.routes.permits_new(server, pending.service):
+            self.misplaced(event, pending)
+            return []
+        slot = self.new_record(event.key, server, pending)
+        state.say_slot("flow-placed", slot, "placement")
+        state.start_work(slot)
+        state.table.marks[slot] |= Mark.PROVISIONAL
+        until = now + state.settings.opening_grace_seconds
+        state.graces.append(Grace(until, event.key, pending.epoch))
+        return pending.segments
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -6,12 +6,12 @@
 
 from kumquatmux_core.identity import Address
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN, Segment
-from kumquatmux_flows.callers import CallerPath, end_of
+from kumquatmux_flows.callers import CallerPath
 from kumquatmux_flows.events import Binding, Passing, SendToCaller, SendToPeer, Stage
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, Role, is_after
+from kumquatmux_flows.table import FlowStatus, Mark, Role, end_of, is_after
 
 ENDING_FLAGS = FLAG_FIN | FLAG_RST
 STALE_ORDER_FACTOR = 2
@@ -167,7 +167,7 @@
         if segment.flags & FLAG_ACK:
             self.silence.answered(slot, segment.ack, now)
         if segment.flags & FLAG_ACK or not segment.is_tcp:
-            self.callers.confirm_copy(slot, segment.ack)
+            self.callers.copies.confirm_copy(slot, segment.ack)
         if segment.payload_length:
             state.answer_work(slot)
         if segment.flags & ENDING_FLAGS:
@@ -182,8 +182,8 @@
             state.close(slot, "reset-by-server", now)
         else:
             state.table.marks[slot] |= Mark.SERVER_FIN
-            self.callers.closing(slot, now)
-        backup = self.callers.backup_of(slot)
+            self.callers.tracking.closing(slot, now)
+        backup = self.callers.copies.backup_of(slot)
         if backup is None:
             self.to_caller(segment)
             return
@@ -200,7 +200,7 @@
                 state.close(slot, "reset-by-server", now)
             else:
                 state.table.marks[slot] |= Mark.SERVER_FIN
-                self.callers.closing(slot, now)
+                self.callers.tracking.closing(slot, now)
         self.to_caller(segment)
 
     def to_caller(self, segment: Segment) -> None:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -220,6 +220,25 @@
         """Return whether a closed key still belongs to its last flow."""
         return now - self.table.strike_times[slot] < self.settings.quarantine_seconds
 
+    def idle(self, slot: int, now: float) -> float:
+        """Return the seconds since a sign of life of a flow."""
+        table = self.table
+        latest = max(table.caller_times[slot], table.reply_times[slot])
+        if self.is_probed(slot):
+            latest = table.caller_times[slot]
+        if table.roles[slot] == Role.COPY:
+            latest = max(latest, table.copy_times[slot])
+        return now - latest
+
+    def is_probed(self, slot: int) -> bool:
+        """Return whether probes keep a flow's server time recent.
+
+        Then only its caller shows life of its own.
+        """
+        table = self.table
+        established = table.statuses[slot] == FlowStatus.ESTABLISHED
+        return established and table.roles[slot] == Role.OWNER
+
     def say_slot(self, event: str, slot: int, reason: str) -> None:
         """Log one decision about a record."""
         key = self.table.keys[slot]
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -6,6 +6,7 @@
 from enum import IntEnum
 
 from kumquatmux_core.identity import FlowKey
+from kumquatmux_core.segments import FLAG_FIN, FLAG_SYN, Segment
 
 GROWTH_SLOTS = 1_024
 NO_VM = 0xFFFF
@@ -171,6 +172,14 @@
         ]
 
 
+def end_of(segment: Segment) -> int:
+    """Return the sequence number after a segment."""
+    length = segment.payload_length
+    length += 1 if segment.flags & FLAG_SYN else 0
+    length += 1 if segment.flags & FLAG_FIN else 0
+    return (segment.seq + length) & SEQUENCE_MASK
+
+
 def is_after(left: int, right: int) -> bool:
     """Return whether one TCP sequence number is later than another."""
     return 0 < (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
--- /dev/null
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -0,0 +1,71 @@
+"""How far a flow has come, by the packets of its caller."""
+
+from __future__ import annotations
+
+from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, Segment
+from kumquatmux_flows.silence import Silence
+from kumquatmux_flows.state import FlowState
+from kumquatmux_flows.table import FlowStatus, Mark, end_of, is_after
+
+
+class Tracking:
+    """Follows handshake, work and end of the flows this VM owns."""
+
+    def __init__(self, state: FlowState, silence: Silence) -> None:
+        self.state = state
+        self.silence = silence
+
+    def track(self, slot: int, segment: Segment, now: float) -> None:
+        """Follow handshake, work and retransmissions of a flow."""
+        table = self.state.table
+        if segment.opens:
+            table.caller_isns[slot] = segment.seq
+        elif table.statuses[slot] == FlowStatus.HALF_OPEN:
+            table.statuses[slot] = FlowStatus.ESTABLISHED
+        if segment.is_tcp and segment.flags & FLAG_ACK:
+            self.track_ack(slot, segment)
+        if segment.payload_length:
+            self.track_payload(slot, segment, now)
+        elif is_after(end_of(segment), table.caller_nexts[slot]) or segment.opens:
+            table.caller_nexts[slot] = end_of(segment)
+            table.marks[slot] |= Mark.CALLER_SEEN
+
+    def track_ack(self, slot: int, segment: Segment) -> None:
+        """Learn from an acknowledgement what the server has sent."""
+        table = self.state.table
+        seen = table.marks[slot] & Mark.SERVER_SEEN
+        if not seen or is_after(segment.ack, table.server_nexts[slot]):
+            table.server_nexts[slot] = segment.ack
+            table.marks[slot] |= Mark.SERVER_SEEN
+
+    def track_payload(self, slot: int, segment: Segment, now: float) -> None:
+        """Count new bytes as work and old ones as a sign of silence."""
+        table = self.state.table
+        end = end_of(segment)
+        seen = table.marks[slot] & Mark.CALLER_SEEN
+        table.marks[slot] &= ~Mark.PROVISIONAL & 0xFF
+        if segment.is_tcp and seen and not is_after(end, table.caller_nexts[slot]):
+            self.silence.retransmitted(slot, segment, now)
+            return
+        table.caller_nexts[slot] = end
+        table.marks[slot] |= Mark.CALLER_SEEN
+        self.state.start_work(slot)
+
+    def track_end(self, slot: int, segment: Segment, now: float) -> None:
+        """Follow the end of a flow, or find that it went silent."""
+        state = self.state
+        table = state.table
+        if segment.flags & FLAG_RST:
+            state.close(slot, "reset-by-caller", now)
+        elif segment.flags & FLAG_FIN:
+            table.marks[slot] |= Mark.CALLER_FIN
+            self.closing(slot, now)
+
+    def closing(self, slot: int, now: float) -> None:
+        """Follow a FIN: the second one ends the flow."""
+        table = self.state.table
+        marks = table.marks[slot]
+        if marks & Mark.CALLER_FIN and marks & Mark.SERVER_FIN:
+            self.state.close(slot, "finished", now)
+        elif table.statuses[slot] != FlowStatus.CLOSED:
+            table.statuses[slot] = FlowStatus.CLOSING
