Take no change that entry VMs would not run

If all control VMs lose their past, a new log starts below the revisions that entry VMs hold, and they would rightly ignore what it accepts. The leader now compares: it refuses changes as log-behind (503) and shows why in status. A change waits 2.5 s, so that a graceful stop (3 s) cuts no request in progress. 2 cases added.

--- a/libs/daemons/src/kumquatmux_daemons/control/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/core.py
@@ -25,6 +25,7 @@
     Effect,
     FromCopy,
     FromReplica,
+    LogBehind,
     Send,
     StoodDown,
     Tell,
@@ -133,6 +134,7 @@
         self.reshaping: dict[str, tuple[VmId, ...]] = {}
         self.confirm_at = 0.0
         self.confirm_number = 0
+        self.told_newest = 0
         self.out: list[Effect] = []
         if restored.snapshot.log_index:
             self._restore(restored.snapshot)
@@ -170,6 +172,11 @@
 
     @_on.register
     def _(self, event: Ask, now: float) -> None:
+        if self.leader == self.settings.vm and self._is_behind():
+            detail = f"entry VMs run revision {self.copy.newest}, this log is behind"
+            refused = NotTaken(Problem("log-behind", detail))
+            self.out.append(Tell(event.token, refused))
+            return
         data = encode_change(event.change)
         self._drive(agreement.Propose(data, event.token), now)
 
@@ -255,6 +262,7 @@
         if action.token.startswith("confirm "):
             if action.outcome == agreement.Outcome.CURRENT:
                 self._act_on_copy(self.copy.handle(copy_events.Confirmed(), now))
+                self._look_for_loss()
             return []
         vms = self.reshaping.pop(action.token, None)
         if action.outcome == agreement.Outcome.REFUSED:
@@ -268,6 +276,15 @@
             self.out.append(Tell(action.token, Uncertain(detail)))
         return []
 
+    def _look_for_loss(self) -> None:
+        """Say once what entry VMs run that a confirmed log does not hold."""
+        if self._is_behind() and self.copy.newest > self.told_newest:
+            self.told_newest = self.copy.newest
+            self.out.append(LogBehind(self.copy.newest, self.changes.revision))
+
+    def _is_behind(self) -> bool:
+        return self.copy.newest > self.changes.revision
+
     def _settle(self, token: str, log_index: int) -> None:
         outcome = self.outcomes.get(log_index)
         if outcome is None:
--- a/libs/daemons/src/kumquatmux_daemons/control/desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/desk.py
@@ -17,6 +17,7 @@
     Ask,
     AskControlVms,
     Effect,
+    LogBehind,
     Send,
     StoodDown,
     Tell,
@@ -38,7 +39,7 @@
 )
 from kumquatmux_settings.change import Change, ChangeOutcome
 
-CHANGE_WAIT_S = 5.0
+CHANGE_WAIT_S = 2.5
 REPORT_WAIT_S = 1.0
 CAN_ACCEPT_S = 3.0
 FAILURES_KEPT = 10
@@ -104,6 +105,15 @@
             self.told[effect.token] = effect.handling
             waiting.set()
 
+    @carry_out.register
+    def _(self, effect: LogBehind) -> None:
+        text = (
+            f"entry VMs run revision {effect.newest}, the log holds {effect.revision}: "
+            "no change is taken"
+        )
+        logging.error("%s", text)
+        self.failures.appendleft(text)
+
     @carry_out.register
     def _(self, effect: StoodDown) -> None:
         logging.error("control vm stands down: %s", effect.reason)
@@ -148,7 +158,7 @@
             self.give(question)
             with trio.move_on_after(CHANGE_WAIT_S):
                 await done.wait()
-            late = Uncertain(f"no majority answered within {CHANGE_WAIT_S:.0f} s")
+            late = Uncertain(f"no majority answered within {CHANGE_WAIT_S} s")
             return self.told.pop(token, late)
         finally:
             del self.asked[token]
--- a/libs/daemons/src/kumquatmux_daemons/control/effects.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/effects.py
@@ -64,4 +64,16 @@
     reason: str
 
 
-Effect = Send | Tell | StoodDown
+class LogBehind(NamedTuple):
+    """Entry VMs run a revision that the log does not hold: its past is lost.
+
+    Attributes:
+        newest: Revision they run.
+        revision: Newest revision of the log.
+    """
+
+    newest: int
+    revision: int
+
+
+Effect = Send | Tell | StoodDown | LogBehind
--- a/libs/daemons/tests/test_control_core.py
+++ b/libs/daemons/tests/test_control_core.py
@@ -21,6 +21,7 @@
     AskControlVms,
     FromCopy,
     FromReplica,
+    LogBehind,
     Send,
     StoodDown,
     Tell,
@@ -30,7 +31,7 @@
 from kumquatmux_settings.change import Change, Edit, Verdict
 from kumquatmux_settings.copy_events import DistributionSettings, Received, SendMessage
 from kumquatmux_settings.distribution import SettingsCopy
-from kumquatmux_settings.messages import MESSAGE_TYPES
+from kumquatmux_settings.messages import MESSAGE_TYPES, DeltaRequest
 
 STEP_S = 0.1
 CONTROL = {
@@ -247,6 +248,17 @@
     assert site.ask(site.leader(), change("c2", 1), "t2").outcome.revision == 2
 
 
+def test_a_log_that_lost_its_past_takes_no_change_that_would_not_be_in_force(site):
+    leader = site.leader()
+    ahead = DeltaRequest("cnx-a-1", 7, "d" * 32)
+    site.give(leader, FromCopy(ahead))
+    told = site.ask(leader, change("c1", 0), "t1")
+    assert told.problem.code == "log-behind"
+    site.run(3.0)
+    assert site.effects.count(LogBehind(7, 0)) == 1
+    assert site.cores[leader].changes.revision == 0
+
+
 def test_all_restart_with_hundreds_of_changes_and_go_on(site):
     leader = site.leader()
     for number in range(300):
--- a/libs/daemons/tests/test_control_daemon.py
+++ b/libs/daemons/tests/test_control_daemon.py
@@ -9,6 +9,7 @@
 import trio
 
 from kumquatmux_core.identity import Endpoint
+from kumquatmux_daemons.announce.server import GRACEFUL_TIMEOUT_SECONDS
 from kumquatmux_daemons.commands.new_keys import make_node_keys
 from kumquatmux_daemons.control import desk as desk_module
 from kumquatmux_daemons.control.core import Member
@@ -20,7 +21,7 @@
     run,
 )
 from kumquatmux_daemons.control.desk import ControlDesk
-from kumquatmux_daemons.control.effects import StoodDown, Tell
+from kumquatmux_daemons.control.effects import LogBehind, StoodDown, Tell
 from kumquatmux_daemons.keys.tokens import hash_token
 from kumquatmux_daemons.operators.desk import Settled, Uncertain
 from kumquatmux_daemons.reports import DrainAnswer, VmReport
@@ -139,6 +140,10 @@
     assert desk.asked == {}
 
 
+def test_a_graceful_stop_waits_for_longer_than_a_change():
+    assert desk_module.CHANGE_WAIT_S < GRACEFUL_TIMEOUT_SECONDS
+
+
 async def test_an_answer_reaches_the_one_who_asked(node, autojump_clock):
     effects = (Tell("change 9", Settled(OUTCOME)), Tell("change 1", Settled(OUTCOME)))
     desk = ControlDesk(FakeCore(node, *effects), FakeLinks())
@@ -149,7 +154,10 @@
 async def test_a_failed_disk_is_shown_to_operators(node, autojump_clock):
     desk = ControlDesk(FakeCore(node), FakeLinks())
     desk.carry_out(StoodDown("the disk failed"))
-    assert list(desk.failures) == ["the disk failed"]
+    desk.carry_out(LogBehind(7, 3))
+    newest, oldest = desk.failures
+    assert oldest == "the disk failed"
+    assert newest.startswith("entry VMs run revision 7, the log holds 3")
 
 
 async def test_a_drain_ends_at_the_holder_and_not_at_a_silent_vm(node, autojump_clock):
