--- a/libs/daemons/tests/test_control_core.py
+++ b/libs/daemons/tests/test_control_core.py
@@ -29,7 +29,12 @@
 )
 from kumquatmux_daemons.operators.desk import NotLeader, Reshaped, Settled, Uncertain
 from kumquatmux_settings.change import Change, Edit, Verdict
-from kumquatmux_settings.copy_events import DistributionSettings, Received, SendMessage
+from kumquatmux_settings.copy_events import (
+    DistributionSettings,
+    PeerRevision,
+    Received,
+    SendMessage,
+)
 from kumquatmux_settings.distribution import SettingsCopy
 from kumquatmux_settings.messages import MESSAGE_TYPES, DeltaRequest
 
@@ -72,6 +77,8 @@
         self.now = 0.0
         self.cut = set()
         self.told = {}
+        self.loss = 0.0
+        self.rng = Random(3)
         self.effects = []
         founder = ReplicaId("cnx-a-c", "f-cnx-a-c")
         states = {vm: joining_state() for vm in CONTROL}
@@ -92,10 +99,17 @@
         others = tuple(member for member in control.values() if member != me)
         peers = tuple(member.vm for member in others)
         replica = ReplicaSettings("site", ReplicaId(vm, folder_name), peers)
-        settings = ControlSettings(replica, me.zone, others, ENTRY)
+        chosen = ControlSettings(replica, me.zone, others, ENTRY)
         folder = self.folders[vm]
         rng = Random(list(control).index(vm))
-        self.cores[vm] = ControlCore(settings, folder.state, folder, rng)
+        self.cores[vm] = ControlCore(chosen, folder.state, folder, rng)
+
+    def restart(self, vm):
+        if vm in CONTROL:
+            self.start(vm)
+        else:
+            options = DistributionSettings(vm, frozenset(CONTROL))
+            self.copies[vm] = SettingsCopy(options, Random(2))
 
     def run(self, seconds):
         for _ in range(round(seconds / STEP_S)):
@@ -111,9 +125,30 @@
                 self.effects.append(effect)
                 if isinstance(effect, Tell):
                     self.told[effect.token] = effect.handling
-                elif isinstance(effect, Send) and not self.cut & {vm, effect.vm}:
+                elif isinstance(effect, Send) and self.passes(vm, effect.vm):
                     queue += self.deliver(effect.vm, effect.message)
 
+    def passes(self, sender, receiver):
+        return not self.cut & {sender, receiver} and self.rng.random() >= self.loss
+
+    def gossip(self):
+        """Let each entry VM hear the revision of each other one it reaches."""
+        for sender, source in self.copies.items():
+            for receiver, copy in self.copies.items():
+                if sender != receiver and self.passes(sender, receiver):
+                    news = PeerRevision(sender, source.revision, source.digest)
+                    for action in copy.handle(news, self.now):
+                        self.carry(receiver, action)
+
+    def carry(self, sender, action):
+        if isinstance(action, SendMessage) and self.passes(sender, action.vm):
+            if action.vm in self.cores:
+                self.give(action.vm, FromCopy(action.message))
+            else:
+                received = Received(action.message)
+                for answer in self.copies[action.vm].handle(received, self.now):
+                    self.carry(action.vm, answer)
+
     def deliver(self, vm, message):
         if vm in self.cores:
             is_copy = type(message) in MESSAGE_TYPES.values()
@@ -137,8 +172,8 @@
         return {copy.revision for copy in self.copies.values()}
 
 
-def change(change_id, base, hold_ms=5):
-    edits = (Edit("defaults.placement.hold_ms", str(hold_ms)),)
+def change(change_id, base, value=5, option="hold_ms"):
+    edits = (Edit(f"defaults.placement.{option}", str(value)),)
     return Change(change_id, base, "nok", "", edits)
 
 
@@ -269,3 +304,82 @@
     assert {core.changes.revision for core in site.cores.values()} == {300}
     told = site.ask(site.leader(), change("c299", 299, 299), "again")
     assert told.outcome.revision == 300
+
+
+VMS = [*CONTROL, *[member.vm for member in ENTRY]]
+STEP_KINDS = (
+    ["ask"] * 6 + ["resend"] * 2 + ["run"] * 4 + ["cut", "restart", "lose", "lose"]
+)
+STEPS = 60
+OPTIONS = ["hold_ms", "queue_limit", "warm_ms"]
+SEEDS = range(30)
+
+
+class History:
+    """What every VM has had in force, and what operators were told."""
+
+    def __init__(self, site):
+        self.site = site
+        self.values = {0: {}}
+        self.seen = {}
+        self.outcomes = {}
+
+    def look(self):
+        for vm, core in self.site.cores.items():
+            self.note(vm, core.changes.revision, core.changes.values)
+        for vm, copy in self.site.copies.items():
+            self.note(vm, copy.revision, copy.values)
+        for token, handling in self.site.told.items():
+            if isinstance(handling, Settled):
+                change_id = token.partition("/")[0]
+                first = self.outcomes.setdefault(change_id, handling.outcome)
+                assert first == handling.outcome
+
+    def note(self, vm, revision, values):
+        assert revision >= self.seen.get(vm, 0)
+        self.seen[vm] = revision
+        assert self.values.setdefault(revision, dict(values)) == values
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_what_is_accepted_is_in_force_everywhere_and_never_reverts(seed):
+    rng = Random(seed)
+    site = Site()
+    site.run(12.0)
+    history = History(site)
+    sent = []
+    for number in range(STEPS):
+        step = rng.choice(STEP_KINDS)
+        vm = rng.choice(VMS)
+        if step == "ask":
+            asked = rng.choice(list(CONTROL))
+            sent.append(
+                change(f"c{number}", site.cores[asked].changes.revision, number)
+            )
+            site.ask(asked, sent[-1], f"c{number}/{number}")
+        elif step == "resend" and sent:
+            again = rng.choice(sent)
+            token = f"{again.change_id}/{number}"
+            site.ask(rng.choice(list(CONTROL)), again, token)
+        elif step == "cut":
+            site.cut = set(rng.sample(VMS, rng.randrange(3)))
+        elif step == "lose":
+            site.loss = rng.choice([0.0, 0.2])
+        elif step == "run":
+            site.run(rng.choice([0.3, 6.0]))
+            site.gossip()
+        elif step == "restart":
+            site.restart(vm)
+            history.seen.pop(vm, None)
+        history.look()
+    site.cut, site.loss = set(), 0.0
+    for _ in range(4):
+        site.run(6.0)
+        site.gossip()
+    history.look()
+    final = site.cores[site.leader()].changes
+    assert set(history.seen.values()) == {final.revision}
+    for change_id, outcome in history.outcomes.items():
+        if outcome.verdict is Verdict.ACCEPTED:
+            made = [r for r in final.revisions.retained if r.change_id == change_id]
+            assert [r.number for r in made] == [outcome.revision]
--- a/libs/settings/tests/test_distribution.py
+++ b/libs/settings/tests/test_distribution.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from kumquatmux_settings.assembly import cut
 from kumquatmux_settings.change import Edit
@@ -78,53 +79,63 @@
                 self.tell(vm, Received(message))
 
 
-STEPS = st.lists(
-    st.one_of(
-        st.tuples(
-            st.just("accept"),
-            st.lists(st.tuples(KEYS, st.none() | st.integers(0, 3)), max_size=3),
-        ),
-        st.tuples(st.just("deliver"), st.integers(0, 9)),
-        st.tuples(st.just("repeat"), st.integers(0, 9)),
-        st.tuples(st.just("lose"), st.integers(0, 9)),
-        st.tuples(st.just("beat"), st.tuples(*[st.sampled_from(NODES)] * 2)),
-        st.tuples(st.just("confirm"), st.none()),
-        st.tuples(st.just("restart"), st.sampled_from(NODES)),
-        st.tuples(st.just("tick"), st.sampled_from(NODES)),
-    ),
-    max_size=40,
-)
+NODE = st.sampled_from(NODES)
+PLACE = st.integers(0, 9)
+EDITS = st.lists(st.tuples(KEYS, st.none() | st.integers(0, 3)), min_size=1, max_size=3)
 
 
-@settings(max_examples=150)
-@given(
-    STEPS,
-    st.sampled_from([NODES, NODES[:1], []]),
-    st.integers(1, 3),
-    st.integers(1, 3),
-)
-def test_no_copy_reverts_and_all_converge(steps, children, history, part_keys):
-    net = Network(children, history_limit=history, part_keys=part_keys)
-    for step, value in steps:
-        net.now += 0.4
-        if step == "accept":
-            net.accept(value)
-        elif step == "beat" and value[0] != value[1]:
-            net.heartbeat(*value)
-        elif step == "confirm":
-            net.tell(CONTROL, Confirmed())
-        elif step == "restart":
-            net.copies[value] = copy(value)
-        elif step == "tick":
-            net.tell(value, Tick())
-        elif step in ("deliver", "repeat", "lose") and net.wire:
-            vm, message = net.wire[value % len(net.wire)]
-            if step != "repeat":
-                del net.wire[value % len(net.wire)]
-            if step != "lose":
-                net.tell(vm, Received(message))
-    net.settle()
-    assert {member.revision for member in net.copies.values()} == {max(net.log)}
+class Spreading(RuleBasedStateMachine):
+    """No copy goes back or holds other values than the log, and all converge."""
+
+    @initialize(
+        children=st.sampled_from([NODES, NODES[:1], []]),
+        history=st.integers(1, 3),
+        part_keys=st.integers(1, 3),
+    )
+    def begin(self, children, history, part_keys):
+        self.net = Network(children, history_limit=history, part_keys=part_keys)
+
+    @rule(edits=EDITS)
+    def accept(self, edits):
+        self.net.accept(edits)
+
+    @rule(place=PLACE, is_lost=st.booleans(), is_repeated=st.booleans())
+    def deliver(self, place, is_lost, is_repeated):
+        wire = self.net.wire
+        if wire:
+            vm, message = wire[place % len(wire)]
+            if not is_repeated:
+                del wire[place % len(wire)]
+            if not is_lost:
+                self.net.tell(vm, Received(message))
+
+    @rule(sender=st.sampled_from([CONTROL, *NODES]), receiver=NODE)
+    def beat(self, sender, receiver):
+        if sender != receiver:
+            self.net.heartbeat(sender, receiver)
+
+    @rule()
+    def confirm(self):
+        self.net.tell(CONTROL, Confirmed())
+
+    @rule(vm=NODE)
+    def restart(self, vm):
+        self.net.copies[vm] = copy(vm)
+
+    @rule(vm=NODE, seconds=st.sampled_from([0.4, 1.0]))
+    def wait(self, vm, seconds):
+        self.net.now += seconds
+        self.net.tell(vm, Tick())
+
+    def teardown(self):
+        if hasattr(self, "net"):
+            self.net.settle()
+            revisions = {member.revision for member in self.net.copies.values()}
+            assert revisions == {max(self.net.log)}
+
+
+TestSpreading = Spreading.TestCase
+TestSpreading.settings = settings(max_examples=80, stateful_step_count=60)
 
 
 @given(st.dictionaries(KEYS, st.text()), st.dictionaries(KEYS, st.none() | st.text()))
@@ -160,6 +171,21 @@
     assert requests == ([] if asked is None else [asked])
 
 
+OLD_TREE = Snapshot(CONTROL, 2, digest_of({"a": "0"}), (Edit("a", "0"),))
+NEW_TREE = Snapshot(CONTROL, 4, digest_of({"a": "1"}), (Edit("a", "1"),))
+
+
+@pytest.mark.parametrize(
+    "late", [OLD_TREE, NEW_TREE, ONE, Current(CONTROL, 2, OLD_TREE.digest, 0)]
+)
+def test_what_comes_late_changes_nothing(late):
+    member = copy("entry-1")
+    member.handle(Received(NEW_TREE), 0.0)
+    assert member.handle(Received(late), 9.0) == []
+    assert (member.revision, member.values) == (4, {"a": "1"})
+    assert member.staleness(9.0) == float("inf")
+
+
 def test_a_flawed_copy_is_repaired_by_a_control_vm_only():
     member = copy("entry-1")
     member.handle(Received(ONE), 0.0)
