Count lease bytes apart from heartbeats and race only live servers

Change: lease messages are counted by themselves; a retire race needs a server that runs and is not yet as far.

--- a/libs/lab/src/kumquatmux_lab/benches/membership.py
+++ b/libs/lab/src/kumquatmux_lab/benches/membership.py
@@ -21,7 +21,9 @@
     Depart,
     Event,
     Lease,
+    LeaseAck,
     LeaseAnswer,
+    LeaseRequest,
     LeaseUpdate,
     Received,
     SendMessage,
@@ -33,8 +35,10 @@
 from kumquatmux_membership.settings import LeaseSettings, MembershipSettings
 from kumquatmux_membership.wire import MESSAGES
 
+STEADY_SECONDS = 5
 DELAY_SECONDS = 0.005
 TICK_SECONDS = 0.1
+LEASE_MESSAGES = (LeaseUpdate, LeaseRequest, LeaseAck)
 
 
 class Traffic(NamedTuple):
@@ -71,6 +75,7 @@
         self.flying: deque[tuple[float, VmId, bytes]] = deque()
         self.now = 1.0
         self.bytes = 0
+        self.lease_bytes = 0
         self.messages = 0
 
     def handle(self, name: VmId, event: Event) -> LeaseAnswer | None:
@@ -80,6 +85,8 @@
             if isinstance(action, SendMessage):
                 data = MESSAGES.encode(action.message)
                 self.bytes += len(data)
+                if isinstance(action.message, LEASE_MESSAGES):
+                    self.lease_bytes += len(data)
                 self.messages += 1
                 self.flying.append((self.now + DELAY_SECONDS, action.vm, data))
             elif isinstance(action, ViewChanged):
@@ -184,62 +191,89 @@
 
 
 class LeaseTraffic(NamedTuple):
-    """What leases cost.
+    """What leases cost a fleet of six VMs.
 
     Attributes:
         servers: Backend servers that renew every second.
-        steady: Bytes of the fleet a second while they renew, a VM.
-        change: Bytes of the fleet for one leave, beyond the steady ones.
+        heartbeats: Bytes that a VM sends a second while they renew.
+        renewals: Bytes of lease messages that a VM sends a second meanwhile.
+        announce: Bytes of lease messages of the fleet for one new server.
+        leave: Bytes of lease messages of the fleet for one leave.
         table: Bytes of the complete tables that a restarted VM gets.
     """
 
     servers: int
-    steady: float
-    change: float
+    heartbeats: float
+    renewals: float
+    announce: float
+    leave: float
     table: float
 
 
-def leases(counts: Iterable[int] = (0, 10, 100, 1000)) -> list[LeaseTraffic]:
+def leases(counts: Iterable[int] = (10, 100, 1000)) -> list[LeaseTraffic]:
     """Measure leases on six VMs in three availability zones."""
-    return [_lease_traffic(count) for count in counts]
+    return [LeaseBench(count).run() for count in counts]
 
 
-def _lease_traffic(count: int) -> LeaseTraffic:
-    fleet = make_fleet(6, 3, MembershipSettings())
-    fleet.run(5.0)
-    names = list(fleet.nodes)
-    zones = [fleet.nodes[name].leases.me.zone for name in names]
-    tickets: dict[int, Ticket | None] = {}
+class LeaseBench:
+    """Backend servers that announce, renew and leave.
 
-    def renew() -> None:
-        for number in range(count):
-            place = number % len(names)
-            announce = Announce(make_lease(number, zones[place]), tickets.get(number))
-            answer = fleet.handle(names[place], announce)
-            assert answer is not None
-            tickets[number] = answer.ticket
+    Args:
+        count: How many.
+    """
 
-    for _ in range(3):
-        renew()
+    def __init__(self, count: int) -> None:
+        self.count = count
+        self.fleet = make_fleet(6, 3, MembershipSettings())
+        self.names = list(self.fleet.nodes)
+        self.tickets: dict[int, Ticket] = {}
+
+    def run(self) -> LeaseTraffic:
+        """Measure one size."""
+        fleet = self.fleet
+        fleet.run(5.0)
+        self._renew()
+        fleet.run(1.0)
+        self._renew()
         fleet.run(1.0)
-    fleet.bytes = 0
-    for _ in range(5):
-        renew()
+        announced = fleet.lease_bytes
+        fleet.bytes = 0
+        for _ in range(STEADY_SECONDS):
+            self._renew()
+            fleet.run(1.0)
+        share = 1 / (STEADY_SECONDS * len(self.names))
+        steady = fleet.bytes * share
+        renewals = (fleet.lease_bytes - announced) * share
+        before = fleet.lease_bytes
+        fleet.handle(self.names[0], Depart(make_lease(0, self._zone(0)).server))
         fleet.run(1.0)
-    steady = fleet.bytes / 5
-    fleet.bytes = 0
-    if count:
-        fleet.handle(names[0], Depart(make_lease(0, zones[0]).server))
-        renew()
-    fleet.run(1.0)
-    change = fleet.bytes - steady
-    tables = [fleet.nodes[name].leases.holder.all_leases() for name in names[1:]]
-    table = sum(_table_bytes(names[0], table) for table in tables if table)
-    return LeaseTraffic(count, steady / len(names), change, table)
-
-
-def _table_bytes(holder: VmId, table: tuple[Lease, ...]) -> int:
-    update = LeaseUpdate(holder, 1_700_000_000_000, len(table), True, table)
+        leave = fleet.lease_bytes - before
+        tables = [fleet.nodes[name].leases.holder for name in self.names[1:]]
+        table = sum(_table_bytes(holder.all_leases()) for holder in tables)
+        return LeaseTraffic(
+            servers=self.count,
+            heartbeats=steady,
+            renewals=renewals,
+            announce=announced / self.count,
+            leave=leave,
+            table=table,
+        )
+
+    def _zone(self, number: int) -> ZoneName:
+        return self.fleet.nodes[self.names[number]].leases.me.zone
+
+    def _renew(self) -> None:
+        for number in range(self.count):
+            place = number % len(self.names)
+            lease = make_lease(number, self._zone(place))
+            announce = Announce(lease, self.tickets.get(number))
+            answer = self.fleet.handle(self.names[place], announce)
+            assert answer is not None
+            self.tickets[number] = answer.ticket
+
+
+def _table_bytes(table: tuple[Lease, ...]) -> int:
+    update = LeaseUpdate(VmId("zone-0-0"), 1_700_000_000_000, 1000, True, table)
     return len(MESSAGES.encode(update))
 
 
@@ -252,7 +286,7 @@
     for row, times in sampled():
         middle = times[len(times) // 2]
         print("sampled", *_cells(row), f"{middle:.2f}", f"{times[-1]:.2f}", sep=",")
-    print("servers,steady_bytes_per_vm_s,bytes_per_leave,table_bytes")
+    print(",".join(LeaseTraffic._fields))
     for lease_row in leases():
         print(*(round(value) for value in lease_row), sep=",")
 
--- a/libs/lab/src/kumquatmux_lab/faultruns/membership_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/membership_world.py
@@ -355,6 +355,8 @@
 
     def race(self, phase: Phase, stuck_seconds: float) -> None:
         """Retire while a renewal at another entry VM is still on its way there."""
+        if not self.up or self.phase >= phase:
+            return
         other = self.entries[(self.entry + 1) % len(self.entries)]
         renewal = Announce(self._lease())
 
