Tell a cluster that was founded again from the one of the same name

Cause: a VM that lost its folder and is started as founder once more would lead a second cluster under the same name, and could take over a VM that hears no leader. Change: the founder's folder is the cluster's origin; it stands in the configuration and in every message, and a replica that knows its origin hears no other. Measured: a test with one VM refounding and another down; nothing moves.

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -121,6 +121,20 @@
         """The term it is in."""
         return self.vote.term
 
+    @property
+    def cluster(self) -> str:
+        """The cluster's name with its origin, the bare name while that is unknown."""
+        origin = self.log.configuration.origin
+        name = self.settings.cluster
+        return f"{name}/{origin}" if origin else name
+
+    def is_of_cluster(self, cluster: str) -> bool:
+        """Return whether a message's cluster may be this replica's own."""
+        if cluster == self.cluster:
+            return True
+        is_open = not self.log.configuration.origin
+        return is_open and cluster.startswith(self.settings.cluster + "/")
+
     @property
     def may_stand(self) -> bool:
         """Whether it is a voter, or is until its removal is committed.
--- a/libs/agreement/src/kumquatmux_agreement/entries.py
+++ b/libs/agreement/src/kumquatmux_agreement/entries.py
@@ -34,11 +34,14 @@
         vms: The control VMs as operators want them: 1, 3 or 5.
         voters: Replicas that vote and whose synced copies count.
         learners: Replicas that receive the log and do not count yet.
+        origin: Folder of the founder, which tells a cluster that was founded again
+            under the same name apart.
     """
 
     vms: tuple[VmId, ...]
     voters: tuple[ReplicaId, ...]
     learners: tuple[ReplicaId, ...] = ()
+    origin: str = ""
 
     @property
     def members(self) -> tuple[ReplicaId, ...]:
@@ -131,7 +134,7 @@
         founder: The replica, the only voter until others join.
         vms: All control VMs, the founder's included.
     """
-    configuration = Configuration(vms, (founder,))
+    configuration = Configuration(vms, (founder,), (), founder.folder)
     return DurableState(VoteRecord(), Snapshot(0, 0, configuration, b""))
 
 
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -103,7 +103,7 @@
     index: int,
 ) -> None:
     reply = AppendReply(
-        core.settings.cluster,
+        message.cluster,
         core.me,
         message.sender,
         core.term,
@@ -116,7 +116,7 @@
 
 def _answer_chunk(core: ReplicaCore, message: SnapshotChunk, received: int) -> None:
     reply = SnapshotReply(
-        core.settings.cluster,
+        message.cluster,
         core.me,
         message.sender,
         core.term,
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -269,7 +269,7 @@
     progress.next += len(entries)
     progress.told_commit = core.commit
     message = AppendRequest(
-        core.settings.cluster,
+        core.cluster,
         core.me,
         member,
         core.term,
@@ -291,7 +291,7 @@
     snapshot = progress.snapshot
     start = progress.received
     message = SnapshotChunk(
-        core.settings.cluster,
+        core.cluster,
         core.me,
         member,
         core.term,
--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -97,8 +97,7 @@
 
 
 def _without(current: Configuration, replica: ReplicaId) -> Configuration:
-    return Configuration(
-        current.vms,
-        tuple(voter for voter in current.voters if voter != replica),
-        tuple(learner for learner in current.learners if learner != replica),
+    return current._replace(
+        voters=tuple(voter for voter in current.voters if voter != replica),
+        learners=tuple(learner for learner in current.learners if learner != replica),
     )
--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -155,7 +155,7 @@
     """A replica outside the configuration asks to be let in.
 
     Attributes:
-        cluster: Name of the cluster, empty if the sender knows none yet.
+        cluster: Name of the cluster, without an origin if the sender knows none yet.
         sender: Who asks.
     """
 
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -39,6 +39,7 @@
     VoteRequest,
 )
 from kumquatmux_agreement.settings import ReplicaSettings
+from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.problems import Problem
 
 KEPT_SNAPSHOTS = 16
@@ -209,11 +210,10 @@
     @_on.register
     def _(self, event: Received) -> None:
         message = event.message
-        if message.cluster != self.core.settings.cluster:
-            return
-        if not isinstance(message, JoinRequest) and message.to != self.core.me:
-            return
-        self._receive(message)
+        if isinstance(message, JoinRequest):
+            self._receive(message)
+        elif message.to == self.core.me and self.core.is_of_cluster(message.cluster):
+            self._receive(message)
 
     @singledispatchmethod
     def _receive(self, message: object) -> None:
@@ -249,8 +249,19 @@
 
     @_receive.register
     def _(self, message: JoinRequest) -> None:
-        if self.core.leadership is not None:
-            self.core.leadership.joining[message.sender] = self.core.clock
+        leadership = self.core.leadership
+        if leadership is None:
+            return
+        if message.cluster in (self.core.cluster, self.core.settings.cluster):
+            leadership.joining[message.sender] = self.core.clock
+        else:
+            log_decision(
+                "agreement-other-cluster",
+                replica=self.core.me,
+                cluster=self.core.cluster,
+                sender=message.sender,
+                other=message.cluster,
+            )
 
     def _is_over(self, message: AppendReply | SnapshotReply) -> bool:
         if message.term <= self.core.term:
@@ -282,7 +293,7 @@
         core = self.core
         core.join_at = core.clock + core.settings.join_period_s
         for vm in core.settings.peers:
-            core.send(JoinRequest(core.settings.cluster, core.me), vm)
+            core.send(JoinRequest(core.cluster, core.me), vm)
 
     def _refuse(self, event: Event, code: str, detail: str) -> None:
         if isinstance(event, Propose | Read | ChangeMembership):
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -12,7 +12,8 @@
     """Who a replica is and how it keeps time.
 
     Attributes:
-        cluster: Name of the cluster; messages of another one are dropped.
+        cluster: Name of the cluster; messages of another one are dropped, also of
+            one that was founded again under the same name.
         replica: This replica.
         peers: VMs to ask for admission while no leader is heard.
         heartbeat_s: Seconds between heartbeats of a leader.
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -95,7 +95,7 @@
         Send(
             voter.vm,
             VoteRequest(
-                core.settings.cluster,
+                core.cluster,
                 core.me,
                 voter,
                 election.term,
@@ -121,7 +121,7 @@
 
 def _answer(core: ReplicaCore, message: VoteRequest, *, is_granted: bool) -> None:
     reply = VoteReply(
-        core.settings.cluster,
+        message.cluster,
         core.me,
         message.sender,
         message.term if is_granted else core.term,
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -247,6 +247,17 @@
     assert replica.give(Received(message)) == []
 
 
+@pytest.mark.parametrize(
+    ("mine", "theirs", "is_heard"),
+    [("", "lab/f1", True), ("f1", "lab/f1", True), ("f1", "lab/f2", False)],
+)
+def test_a_cluster_founded_again_under_the_same_name_is_another(mine, theirs, is_heard):
+    driver = Driver(restored=state(configuration=THREE._replace(origin=mine)))
+    driver.tick(2.5)
+    driver.give(Received(append(cluster=theirs)))
+    assert (driver.replica.core.term == 2) == is_heard
+
+
 def test_a_vote_by_a_vm_that_lost_its_folder_does_not_count():
     candidate = Driver()
     candidate.tick(4.5)
--- a/libs/lab/tests/test_settings_cluster.py
+++ b/libs/lab/tests/test_settings_cluster.py
@@ -17,6 +17,7 @@
 from kumquatmux_lab.faultruns.settings_operators import Operator
 from kumquatmux_settings.change import Change, Edit, Verdict
 from kumquatmux_settings.changelog import ChangeLogSettings, encode_change
+from kumquatmux_settings.digest import EMPTY_DIGEST
 
 VMS = ("vm-0", "vm-1", "vm-2")
 KINDS = ("crash", "crash_at_write", "isolate", "isolate_leader", "one_way_cut")
@@ -135,6 +136,26 @@
     assert {site.held(site.cluster.nodes[vm]) for vm in VMS} == {accepted}
 
 
+def test_a_lost_vm_that_founds_again_takes_nobody_over():
+    site = Site()
+    site.change("one")
+    accepted = site.held(site.cluster.nodes["vm-1"])
+    site.cluster.nodes["vm-0"].wipe()
+    site.cluster.nodes["vm-2"].stop()
+    again = site.cluster.nodes["vm-0"]
+    again.start(founds=True)
+    site.wait(30)
+    assert again.life.replica.status().role == Role.LEADER
+    assert site.change("to-the-new-cluster", at=again) == Outcome.REFUSED
+    assert site.held(site.cluster.nodes["vm-1"]) == accepted
+    site.cluster.nodes["vm-2"].start()
+    site.wait(10)
+    assert site.change("two", at=site.cluster.nodes["vm-1"]) or site.change(
+        "three", at=site.cluster.nodes["vm-2"]
+    )
+    assert site.held(again) == (0, EMPTY_DIGEST)
+
+
 def test_a_repair_is_not_called_finished_before_it_is():
     site = Site()
     site.change("one")
