Compare only what a change touches

Cause: each accepted change compared all values twice. Change: the difference is taken over the paths of its edits, over all only for an undo.

--- a/libs/settings/src/kumquatmux_settings/changelog.py
+++ b/libs/settings/src/kumquatmux_settings/changelog.py
@@ -257,8 +257,9 @@
         return ChangeOutcome(change.change_id, Verdict.INVALID, self.revision, detail)
 
     def _accept(self, change: Change, wanted: dict[str, str]) -> None:
-        edits = difference(self.values, wanted)
-        inverse = difference(wanted, self.values)
+        touched = [edit.path for edit in change.edits] or None
+        edits = difference(self.values, wanted, touched)
+        inverse = difference(wanted, self.values, touched)
         self.digest = digest_after(self.digest, self.values, edits)
         self.values = wanted
         self.revision += 1
--- a/libs/settings/src/kumquatmux_settings/revisions.py
+++ b/libs/settings/src/kumquatmux_settings/revisions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from kumquatmux_settings.change import Edit
@@ -44,11 +44,21 @@
     return edited
 
 
-def difference(old: Mapping[str, str], new: Mapping[str, str]) -> tuple[Edit, ...]:
-    """Return the edits that lead from old values to new ones, by path."""
-    unset = [Edit(path, None) for path in old if path not in new]
-    given = [Edit(path, value) for path, value in new.items() if old.get(path) != value]
-    return tuple(sorted(unset + given, key=lambda edit: edit.path))
+def difference(
+    old: Mapping[str, str],
+    new: Mapping[str, str],
+    paths: Iterable[str] | None = None,
+) -> tuple[Edit, ...]:
+    """Return the edits that lead from old values to new ones, by path.
+
+    Args:
+        old: The values before.
+        new: The values after.
+        paths: The paths that may differ, None for all.
+    """
+    candidates = {*old, *new} if paths is None else set(paths)
+    changed = sorted(path for path in candidates if old.get(path) != new.get(path))
+    return tuple(Edit(path, new.get(path)) for path in changed)
 
 
 class Revisions:
