Hold work for less time while the line stands

Cause: at a crest every piece of work waited for nearly all of hold_ms. Change: crest_hold_ms bounds the wait once the line stood for crest_after_ms.

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -255,7 +255,7 @@
             return "no-server"
         if len(pool.line) >= self.settings.queue_limit:
             return "queue-full"
-        hold_s = self.settings.hold_ms / 1000.0
+        hold_s = pool.line.hold_s(self.now)
         if pool.expected_wait(self.now) > min(hold_s, work.deadline - self.now):
             return "wait-too-long"
         if retry and not pool.budget.spend():
--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -32,7 +32,7 @@
         self.service = service
         self.random = random
         self.loads: dict[ServerId, ServerLoad] = {}
-        self.line = WaitingLine()
+        self.line = WaitingLine(settings)
         self.history = SizeHistory(settings)
         self.budget = RetryBudget(settings)
 
--- a/libs/placement/src/kumquatmux_placement/waiting.py
+++ b/libs/placement/src/kumquatmux_placement/waiting.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from kumquatmux_placement.events import SizeClass, Work
+from kumquatmux_placement.settings import PlacementSettings
 
 
 class Waiting(NamedTuple):
@@ -26,9 +27,21 @@
 
 
 class WaitingLine:
-    """The held work of one service, by expected size and then by arrival."""
+    """The held work of one service, by expected size and then by arrival.
 
-    def __init__(self) -> None:
+    A line that has not been empty for a while stands: demand is above what the
+    servers can do, and waiting longer helps nobody. Then work is held for less time.
+
+    Attributes:
+        short: Held work that goes first, in order of arrival.
+        long: Held work known as long, in order of arrival.
+        deadlines: Deadlines in order, with those of some work that is gone.
+        standing_since: When the line was last empty, in seconds; infinite if it is.
+    """
+
+    def __init__(self, settings: PlacementSettings) -> None:
+        self.settings = settings
+        self.standing_since = float("inf")
         self.short: OrderedDict[bytes, Waiting] = OrderedDict()
         self.long: OrderedDict[bytes, Waiting] = OrderedDict()
         self.deadlines: list[tuple[float, bytes]] = []
@@ -46,6 +59,7 @@
 
     def add(self, waiting: Waiting) -> None:
         """Put work at the end of its line."""
+        self.standing_since = min(self.standing_since, waiting.since)
         line = self.long if waiting.size is SizeClass.LONG else self.short
         line[waiting.work.work_id] = waiting
         heapq.heappush(self.deadlines, (waiting.until, waiting.work.work_id))
@@ -53,6 +67,8 @@
     def remove(self, work_id: bytes) -> Waiting | None:
         """Take work out and return it, if it was held."""
         waiting = self.short.pop(work_id, None) or self.long.pop(work_id, None)
+        if not self:
+            self.standing_since = float("inf")
         if waiting is not None and len(self.deadlines) > 2 * len(self) + 16:
             self.compact()
         return waiting
@@ -63,7 +79,24 @@
         self.deadlines = [(waiting.until, waiting.work.work_id) for waiting in held]
         heapq.heapify(self.deadlines)
 
+    def hold_s(self, now: float) -> float:
+        """Return for how long work is held at most at a time, in seconds."""
+        if now - self.standing_since >= self.settings.crest_after_ms / 1000.0:
+            return min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
+        return self.settings.hold_ms / 1000.0
+
     def next_deadline(self) -> float:
+        """Return when held work may next be refused, in seconds."""
+        crest_s = self.settings.crest_hold_ms / 1000.0
+        crest_from = self.standing_since + self.settings.crest_after_ms / 1000.0
+        oldest = min((first.since for first in self.firsts()), default=float("inf"))
+        return min(self.next_own_deadline(), max(oldest + crest_s, crest_from))
+
+    def firsts(self) -> list[Waiting]:
+        """Return the oldest work of each line."""
+        return [next(iter(line.values())) for line in self.lines() if line]
+
+    def next_own_deadline(self) -> float:
         """Return the first deadline of held work, infinite without any."""
         while self.deadlines:
             until, work_id = self.deadlines[0]
@@ -76,8 +109,22 @@
     def expired(self, now: float) -> list[Waiting]:
         """Take out and return the work whose deadline has come."""
         gone: list[Waiting] = []
-        while self.next_deadline() <= now:
+        while self.next_own_deadline() <= now:
             waiting = self.remove(self.deadlines[0][1])
             if waiting is not None:
                 gone.append(waiting)
+        return [*gone, *self.crested(now)]
+
+    def crested(self, now: float) -> list[Waiting]:
+        """Take out and return the work held too long for a standing line."""
+        gone: list[Waiting] = []
+        hold_s = self.hold_s(now)
+        for waiting in self.firsts():
+            while waiting.since + hold_s <= now:
+                self.remove(waiting.work.work_id)
+                gone.append(waiting)
+                line = self.long if waiting.size is SizeClass.LONG else self.short
+                if not line:
+                    break
+                waiting = next(iter(line.values()))
         return gone
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from kumquatmux_core.identity import ServerId, ServiceName, ZoneName
 from kumquatmux_placement.admission import Admission
 from kumquatmux_placement.events import (
@@ -71,3 +73,20 @@
     made.use_settings(made.settings._replace(hold_ms=500.0))
     [later] = made.handle(Submit(work(b"c")), 0.0)
     assert (held.until, later.until) == (10.0, 0.5)
+
+
+def test_a_standing_line_is_held_for_less_time():
+    settings = {"hold_ms": 1000.0, "crest_hold_ms": 200.0, "crest_after_ms": 600.0}
+    made = admission(**settings, reserve_ms=60_000.0)
+    made.handle(Submit(work(b"a")), 0.0)
+    made.handle(Submit(work(b"b")), 0.1)
+    made.handle(Submit(work(b"c")), 0.6)
+    assert made.handle(Tick(), 0.69) == []
+    assert made.next_deadline() == pytest.approx(0.7)
+    [refused] = made.handle(Tick(), 0.7)
+    assert (refused.work_id, refused.reason) == (b"b", "held-too-long")
+    assert made.next_deadline() == pytest.approx(0.8)
+    [refused] = made.handle(Tick(), 0.81)
+    assert refused.work_id == b"c"
+    [held] = made.handle(Submit(work(b"d")), 0.9)
+    assert made.handle(Tick(), 1.2) == []
