Compare a late report with what was counted when it was made

Cause: reports 1 s late made every honest server look busier than counted. Change: trust falls only beyond the recent peak of the own count.

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -130,9 +130,7 @@
         flow = self.flow_on(event.work_id, event.server)
         if flow is None or event.work_id in flow.load.running:
             return []
-        flow.load.reserved.pop(event.work_id, None)
-        flow.since = self.now
-        flow.load.running[event.work_id] = flow
+        flow.load.start(event.work_id, flow, self.now)
         return []
 
     @on.register
@@ -281,8 +279,7 @@
         work = waiting.work
         flow = Flow(choice.load, work.caller, waiting.size, work.repeatable)
         self.bind(work.work_id, flow)
-        flow.since = self.now
-        choice.load.reserved[work.work_id] = flow
+        choice.load.reserve(work.work_id, flow, self.now)
         return Placed(
             work.work_id,
             work.service,
--- a/libs/placement/src/kumquatmux_placement/backend.py
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -13,6 +13,7 @@
     SlotDigest,
 )
 from kumquatmux_placement.history import SizeHistory
+from kumquatmux_placement.peak import RecentPeak
 from kumquatmux_placement.settings import PlacementSettings
 
 
@@ -50,6 +51,7 @@
         running: Started work without an answer, oldest first.
         assumed: When each slot taken by a lost placer counts as free, in seconds.
         connections: Open connections.
+        peak: Most slots in use while reports that count were made.
         blocked_until: When the pause after shedding ends, in seconds.
         backoff_s: Length of the last such pause, in seconds.
         suspected_until: Until when its own report says it is busier, in seconds.
@@ -70,6 +72,7 @@
         self.running: dict[bytes, Flow] = {}
         self.assumed: list[float] = []
         self.connections = 0
+        self.peak = RecentPeak(settings.report_fresh_ms / 1000.0)
         self.blocked_until = float("-inf")
         self.backoff_s = 0.0
         self.suspected_until = float("-inf")
@@ -88,6 +91,19 @@
         """Slots in use."""
         return len(self.reserved) + len(self.running) + len(self.assumed)
 
+    def reserve(self, work_id: bytes, flow: Flow, now: float) -> None:
+        """Give a slot to placed work."""
+        flow.since = now
+        self.reserved[work_id] = flow
+        self.peak.note(self.taken, now)
+
+    def start(self, work_id: bytes, flow: Flow, now: float) -> None:
+        """Give a slot to work that starts, beyond the server's slots if need be."""
+        self.reserved.pop(work_id, None)
+        flow.since = now
+        self.running[work_id] = flow
+        self.peak.note(self.taken, now)
+
     def usable(self, now: float) -> int:
         """Return the slots in use at most, fewer while the server is cold."""
         warm_s = self.settings.warm_ms / 1000.0
@@ -153,7 +169,7 @@
     def hear(self, report: LoadReported, now: float) -> None:
         """Trust the server less while it says that it is busier than counted."""
         fresh_s = self.settings.report_fresh_ms / 1000.0 - report.age
-        if report.busy > self.taken:
+        if report.busy > max(self.taken, self.peak.value(now)):
             self.suspected_until = now + fresh_s
 
     def digest(self, now: float) -> SlotDigest:
--- /dev/null
+++ b/libs/placement/src/kumquatmux_placement/peak.py
@@ -0,0 +1,34 @@
+"""The highest of a count in the recent past."""
+
+from __future__ import annotations
+
+
+class RecentPeak:
+    """Highest value noted in the last one to two spans of time.
+
+    Attributes:
+        span_s: Length of a span, in seconds.
+        current: Highest value of the span that runs now.
+        previous: Highest value of the span before.
+        began: When the span that runs now began, in seconds.
+    """
+
+    def __init__(self, span_s: float) -> None:
+        self.span_s = span_s
+        self.current = 0
+        self.previous = 0
+        self.began = float("-inf")
+
+    def note(self, value: int, now: float) -> None:
+        """Take in the value the count has now."""
+        if now - self.began >= self.span_s:
+            gap = now - self.began >= 2 * self.span_s
+            self.previous = 0 if gap else self.current
+            self.current = 0
+            self.began = now
+        self.current = max(self.current, value)
+
+    def value(self, now: float) -> int:
+        """Return the highest value of the recent past."""
+        self.note(0, now)
+        return max(self.current, self.previous)
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -8,7 +8,9 @@
 from kumquatmux_placement.admission import Admission
 from kumquatmux_placement.events import (
     Answered,
+    Closed,
     Held,
+    LoadReported,
     Placed,
     Refused,
     Server,
@@ -90,3 +92,16 @@
     assert refused.work_id == b"c"
     [held] = made.handle(Submit(work(b"d")), 0.9)
     assert made.handle(Tick(), 1.2) == []
+
+
+@pytest.mark.parametrize(
+    ("busy", "age", "suspected"),
+    [(1, 0.5, False), (2, 0.5, True), (2, 5.0, False), (0, 0.5, False)],
+)
+def test_a_report_only_lowers_trust_beyond_what_was_counted(busy, age, suspected):
+    made = admission(server(1), server(2), report_fresh_ms=2000.0)
+    [placed] = made.handle(Submit(work(b"a")), 0.0)
+    made.handle(Closed(b"a", placed.server), 0.5)
+    made.handle(LoadReported(placed.server, busy, 0, age), 1.0)
+    assert (made.servers[placed.server].suspected_until > 1.0) is suspected
+    assert made.servers[placed.server].taken == 0
