Use servers last whose short work runs slowly

Cause: a server that claims more slots than it has was given the most work. Change: the mean run time by server ranks slow servers behind the others.

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -320,6 +320,7 @@
         run_s = self.now - flow.since
         if answered:
             load.backoff_s = 0.0
+            load.learn(run_s)
             self.pool(load.service).history.learn(flow.caller, run_s)
 
     def forget(self, work_id: bytes, flow: Flow) -> None:
--- a/libs/placement/src/kumquatmux_placement/backend.py
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -17,6 +17,9 @@
 from kumquatmux_placement.settings import PlacementSettings
 
 
+MEAN_WEIGHT = 0.1
+
+
 class Flow:
     """Work that was placed and the slot it holds.
 
@@ -51,6 +54,7 @@
         running: Started work without an answer, oldest first.
         assumed: When each slot taken by a lost placer counts as free, in seconds.
         connections: Open connections.
+        mean_s: Moving mean run time of its short work, in seconds; 0 before the first.
         peak: Most slots in use while reports that count were made.
         blocked_until: When the pause after shedding ends, in seconds.
         backoff_s: Length of the last such pause, in seconds.
@@ -72,6 +76,7 @@
         self.running: dict[bytes, Flow] = {}
         self.assumed: list[float] = []
         self.connections = 0
+        self.mean_s = 0.0
         self.peak = RecentPeak(settings.report_fresh_ms / 1000.0)
         self.blocked_until = float("-inf")
         self.backoff_s = 0.0
@@ -159,6 +164,15 @@
             for flow in self.running.values()
         )
 
+    def learn(self, run_s: float) -> None:
+        """Take in the run time of answered work, in seconds."""
+        if run_s * 1000.0 < self.settings.long_ms:
+            self.mean_s += (run_s - self.mean_s) * (MEAN_WEIGHT if self.mean_s else 1.0)
+
+    def is_slow(self) -> bool:
+        """Return whether its short work runs much longer than the service's."""
+        return self.mean_s > self.history.mean_s * self.settings.slow_factor
+
     def shed(self, now: float) -> None:
         """Pause placing, longer with each shed work in a row."""
         first_s = self.settings.shed_backoff_ms / 1000.0
--- a/libs/placement/src/kumquatmux_placement/choice.py
+++ b/libs/placement/src/kumquatmux_placement/choice.py
@@ -61,9 +61,10 @@
 
 def _cost(
     load: ServerLoad, random: random.Random, now: float
-) -> tuple[bool, int, float, float, float]:
+) -> tuple[bool, bool, int, float, float, float]:
     return (
         load.suspected_until > now,
+        load.is_slow(),
         load.long(now),
         load.taken / load.server.slots,
         load.connections / load.server.connections,
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -105,3 +105,16 @@
     made.handle(LoadReported(placed.server, busy, 0, age), 1.0)
     assert (made.servers[placed.server].suspected_until > 1.0) is suspected
     assert made.servers[placed.server].taken == 0
+
+
+def test_a_server_slower_than_the_service_is_used_last():
+    made = admission(server(1), server(2), server(3))
+    slow = made.servers[server(1).server]
+    for name in made.servers.values():
+        name.mean_s = 0.02
+    made.pools[SERVICE].history.mean_s = 0.02
+    slow.mean_s = 0.04
+    servers = [
+        made.handle(Submit(work(bytes([number]))), 0.0)[0].server for number in range(3)
+    ]
+    assert servers[-1] == slow.server.server
