Rank cold servers last instead of cutting their slots

Cause: the ramp took two of 14 slots out of use for 10 s. Change: a cold server keeps all slots and is used last.

--- a/libs/placement/src/kumquatmux_placement/backend.py
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -109,14 +109,9 @@
         self.running[work_id] = flow
         self.peak.note(self.taken, now)
 
-    def usable(self, now: float) -> int:
-        """Return the slots in use at most, fewer while the server is cold."""
-        warm_s = self.settings.warm_ms / 1000.0
-        age_s = now - self.server.since
-        if age_s >= warm_s:
-            return self.server.slots
-        ramp = self.server.slots * max(age_s, 0.0) / warm_s
-        return min(max(int(ramp), 1), self.server.slots)
+    def is_cold(self, now: float) -> bool:
+        """Return whether the server announced itself not long ago."""
+        return now - self.server.since < self.settings.warm_ms / 1000.0
 
     def is_open(self, now: float) -> bool:
         """Return whether new work may go to the server at all."""
@@ -130,7 +125,7 @@
         """Return how many new pieces of work the server can take."""
         if not self.is_open(now):
             return 0
-        return max(self.usable(now) - self.taken + self.ahead(now), 0)
+        return max(self.server.slots - self.taken + self.ahead(now), 0)
 
     def ahead(self, now: float) -> int:
         """Return the slots in another zone that will be free after the way there.
@@ -141,7 +136,7 @@
         start_s, end_s = self.ahead_span_s()
         if start_s >= end_s:
             return 0
-        over = max(self.taken - self.usable(now), 0)
+        over = max(self.taken - self.server.slots, 0)
         ending = sum(
             start_s <= now - flow.since <= end_s for flow in self.running.values()
         )
@@ -208,9 +203,6 @@
         start_s, end_s = self.ahead_span_s()
         if start_s < end_s:
             times += [flow.since + start_s for flow in self.running.values()]
-        if self.usable(now) < self.server.slots:
-            step_s = self.settings.warm_ms / 1000.0 / self.server.slots
-            times.append(self.server.since + step_s * (self.usable(now) + 1))
         return min((time for time in times if time > now), default=float("inf"))
 
 
--- a/libs/placement/src/kumquatmux_placement/choice.py
+++ b/libs/placement/src/kumquatmux_placement/choice.py
@@ -64,7 +64,7 @@
 ) -> tuple[bool, bool, int, float, float, float]:
     return (
         load.suspected_until > now,
-        load.is_slow(),
+        load.is_slow() or load.is_cold(now),
         load.long(now),
         load.taken / load.server.slots,
         load.connections / load.server.connections,
--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -83,7 +83,7 @@
     def has_room_for_long(self, now: float) -> bool:
         """Return whether one more piece of long work leaves enough slots clear."""
         ready = [load for load in self.loads.values() if load.is_open(now)]
-        slots = sum(load.usable(now) for load in ready)
+        slots = sum(load.server.slots for load in ready)
         largest = max((load.server.slots for load in ready), default=0)
         clear = largest * self.settings.clear_servers
         long = sum(load.long(now) for load in self.loads.values())
@@ -95,7 +95,7 @@
         if now - since >= link_s:
             return True
         slots = sum(
-            load.usable(now)
+            load.server.slots
             for load in self.loads.values()
             if is_near(load, self.settings) and load.is_open(now)
         )
@@ -106,7 +106,7 @@
     def expected_wait(self, now: float) -> float:
         """Return how long work that is held from now on will wait, in seconds."""
         open_loads = [load for load in self.loads.values() if load.is_open(now)]
-        slots = sum(load.usable(now) - load.long(now) for load in open_loads)
+        slots = sum(load.server.slots - load.long(now) for load in open_loads)
         return len(self.line) * self.history.mean_s / max(slots, 1)
 
     def next_to_place(self, now: float) -> tuple[Waiting, Choice] | None:
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -19,7 +19,7 @@
         queue_limit: Pieces of work held for one service at most.
         long_ms: Work that runs longer counts as long.
         clear_servers: Servers whose worth of slots is kept clear of long work.
-        warm_ms: Time over which the slots of a new server come into use.
+        warm_ms: For how long a new server is used last.
         shed_backoff_ms: First pause in placing after a server shed work.
         shed_backoff_limit_ms: Longest such pause.
         link_cost_ms: What a server in another availability zone costs in time.
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -118,3 +118,9 @@
         made.handle(Submit(work(bytes([number]))), 0.0)[0].server for number in range(3)
     ]
     assert servers[-1] == slow.server.server
+
+
+def test_a_cold_server_is_used_last():
+    made = admission(server(1, since=0.0), server(2), warm_ms=10_000.0)
+    placed = [made.handle(Submit(work(name)), 1.0)[0].server for name in (b"a", b"b")]
+    assert placed == [server(2).server, server(1).server]
