--- a/libs/placement/src/kumquatmux_placement/backend.py
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -16,7 +16,6 @@
 from kumquatmux_placement.peak import RecentPeak
 from kumquatmux_placement.settings import PlacementSettings
 
-
 MEAN_WEIGHT = 0.1
 
 
