--- a/libs/lab/src/kumquatmux_lab/faultruns/flows.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/flows.py
@@ -417,6 +417,10 @@
                 self.random.choice([self.join, self.drain, self.burst])()
             pause = CUT_SECONDS + REPAIR_SECONDS if self.world.cut else REPAIR_SECONDS
             self.world.run_until(self.world.now + pause)
+        return self.finish()
+
+    def finish(self) -> RunReport:
+        """Stop new flows, let everything settle, and judge."""
         self.traffic = False
         self.world.run_until(self.world.now + QUIESCE_SECONDS)
         self.judge_open()
