--- a/libs/daemons/src/kumquatmux_daemons/control/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/core.py
@@ -47,6 +47,7 @@
 from kumquatmux_settings.validate import validate
 
 OUTCOMES_KEPT = 1024
+CONFIRMED_S = 3.0
 
 
 class Member(NamedTuple):
@@ -146,6 +147,12 @@
         leader = self.replica.status().leader
         return leader.vm if leader else None
 
+    def can_accept(self, now: float) -> bool:
+        """Return whether the log is known to take changes at this time."""
+        is_ready = self.replica.status().configuration.is_ready
+        is_fresh = self.copy.staleness(now) < CONFIRMED_S
+        return is_ready and is_fresh and not self.failure and not self._is_behind()
+
     def handle(self, event: Any, now: float) -> list[Effect]:
         """Take one event and return what is to be done.
 
--- a/libs/daemons/src/kumquatmux_daemons/control/desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/desk.py
@@ -41,7 +41,6 @@
 
 CHANGE_WAIT_S = 2.5
 REPORT_WAIT_S = 1.0
-CAN_ACCEPT_S = 3.0
 FAILURES_KEPT = 10
 
 
@@ -192,8 +191,7 @@
             EntryVm(member.vm, member.zone, answers.get(member.vm))
             for member in self.core.settings.entry
         )
-        staleness = self.core.copy.staleness(trio.current_time())
-        can_accept = staleness < CAN_ACCEPT_S and not self.core.failure
+        can_accept = self.core.can_accept(trio.current_time())
         return Overview(can_accept, self._control_vms(), entry, tuple(self.failures))
 
     async def drain(self, server: ServerId, operator: str) -> VmId | None:
--- a/libs/daemons/tests/test_control_core.py
+++ b/libs/daemons/tests/test_control_core.py
@@ -194,6 +194,22 @@
     assert max(copy.staleness(site.now) for copy in site.copies.values()) < 2.0
 
 
+def test_what_status_says_of_changes_is_what_happens_to_them():
+    site = Site()
+    others = {vm: site.cores.pop(vm) for vm in ("cnx-b-c", "lpg-a-c")}
+    founder = site.cores["cnx-a-c"]
+    site.run(5.0)
+    assert not founder.can_accept(site.now)
+    assert site.ask("cnx-a-c", change("c1", 0), "t1").problem.code == "too-few-voters"
+    site.cores.update(others)
+    site.run(5.0)
+    assert [core.can_accept(site.now) for core in site.cores.values()] == [True] * 3
+    assert isinstance(site.ask("cnx-a-c", change("c1", 0), "t2"), Settled)
+    site.cut = {"cnx-a-c"}
+    site.run(5.0)
+    assert not founder.can_accept(site.now)
+
+
 def test_a_follower_names_the_leaders_endpoint(site):
     leader = site.leader()
     follower = next(vm for vm in CONTROL if vm != leader)
