Keep a leaving VM's view and a half-open flow's search whole

The leaving VM took its peers' refusal of it for their loss, saw no owner any more and sent a server's answer straight to the caller; the new owner then dropped the caller's bytes again and again, because its half-open record seemed to contradict them although the backup named the same server. Ruled out: loss of the record. Change: a leaving VM ignores refusals, a search that names the same server confirms the record, and VMs that left are still known as packet targets.

--- a/libs/daemons/src/kumquatmux_daemons/entry/forwarder.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/forwarder.py
@@ -83,9 +83,14 @@
         self.target_by_peer: dict[VmId, Endpoint] = {}
 
     def use_peers(self, peers: tuple[Vm, ...]) -> None:
-        """Know the packet endpoints of all VMs of the deployment."""
-        self.peer_by_source = {(vm.packets.ip, vm.packets.port): vm.vm for vm in peers}
-        self.target_by_peer = {vm.vm: vm.packets for vm in peers}
+        """Know the packet endpoints of all VMs of the deployment.
+
+        A VM that is no longer listed is still known, because one that leaves takes
+        part until it is quiet.
+        """
+        for vm in peers:
+            self.peer_by_source[(vm.packets.ip, vm.packets.port)] = vm.vm
+            self.target_by_peer[vm.vm] = vm.packets
 
     def on_datagram(self, data: bytes, source: tuple[str, int], now: float) -> None:
         """Take one datagram of the fabric or of a peer."""
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -217,6 +217,18 @@
         else:
             self.forward(slot, segment, now)
 
+    def confirmed_by_search(self, slot: int, segment: Segment, now: float) -> None:
+        """Go on with a record whose server another VM names too.
+
+        The server's answer may have passed a VM that knew no owner, so that the packet
+        seems to belong to a handshake with another server.
+        """
+        status = self.state.table.statuses[slot]
+        if status == FlowStatus.CLOSED or not self.state.permits(slot):
+            self.with_record(slot, segment, now)
+        else:
+            self.forward(slot, segment, now)
+
     def place_after_search(
         self, segment: Segment, now: float, *, suspect: bool
     ) -> None:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -207,7 +207,10 @@
             return
         if self.owns(segment):
             self.state.adopt(slot, "found-at-peer")
-        self.callers.after_search(slot, segment, now)
+        if kept:
+            self.callers.after_search(slot, segment, now)
+        else:
+            self.callers.confirmed_by_search(slot, segment, now)
 
     def miss(self, packet: PeerPacket, now: float) -> None:
         """Decide about a packet whose record no live VM has."""
--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -9,12 +9,14 @@
 from kumquatmux_flows.engine import FlowEngine
 from kumquatmux_flows.events import (
     AskPlacement,
+    Binding,
     CallerPacket,
     CancelPlacement,
     Dropped,
     FlowClosed,
     FlowPlaced,
     FlowRefused,
+    Passing,
     PeerPacket,
     RefreshRoute,
     ResetCaller,
@@ -206,3 +208,22 @@
     assert made.handle(ServerPacket(reply, SERVER), SETTLED)[-1] == SendToCaller(
         SERVICE, b"packet"
     )
+
+
+def test_a_half_open_flow_goes_on_when_a_peer_names_the_same_server() -> None:
+    made = engine()
+    made.handle(ViewChanged(vms("a", "b")), 0.0)
+    key = next(key_of(port) for port in range(9) if owns(made, key_of(port)))
+    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
+    made.handle(FlowPlaced(key, SERVER), SETTLED)
+    unseen_answer = segment(key, seq=100, ack=500, length=20)
+    [search] = made.handle(CallerPacket(unseen_answer), SETTLED)
+    assert search.passing.stage == Stage.LOOKUP
+    adopt = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
+    actions = made.handle(PeerPacket(VmId("b"), adopt, unseen_answer), SETTLED)
+    [store] = [action for action in actions if isinstance(action, SendToPeer)]
+    assert store.passing.stage == Stage.STORE
+
+
+def owns(made: FlowEngine, key: FlowKey) -> bool:
+    return made.state.ranking.owner(key) == made.vm
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -193,7 +193,7 @@
         unconfirmed = now - peer.contact > self.settings.remove_seconds
         if unconfirmed and now - peer.sent >= REPLY_GAP_SECONDS:
             self._send_heartbeat(peer, now)
-        peer.refused = message.refused
+        peer.refused = message.refused and not self.leaving
         if message.leaving:
             self._note_leave(peer, now)
         if message.revision > self.revision:
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -67,6 +67,7 @@
     assert view(world, A) == [A, B]
     world.run(world.now + 5)
     assert view(world, C) == [A, B, C]
+    assert world.process(C).lost == []
     world.stop(C)
     world.run(world.now + 20)
     assert view(world, A) == [A, B]
