--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -1,4 +1,4 @@
-"""Flow records in columns: a key finds a slot, a slot finds its values."""
+"""Flow records in rows of one cache line, read as columns: a key finds a slot."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 GROWTH_SLOTS = 1_024
 NO_VM = 0xFFFF
 WAS_RESET = 255
+ROW_BYTES = 64
 SEQUENCE_MASK = 0xFFFFFFFF
 SEQUENCE_HALF = 0x80000000
 
@@ -68,24 +69,33 @@
         self.keys: list[FlowKey | None] = []
         self.free: array[int] = array("I")
         self.counts = [0] * len(Role)
-        self.roles = bytearray()
-        self.statuses = bytearray()
-        self.marks = bytearray()
-        self.strikes = bytearray()
-        self.servers: array[int] = array("I")
-        self.services: array[int] = array("H")
-        self.copies: array[int] = array("H")
         self.epochs: array[int] = array("I")
-        self.revisions: array[int] = array("I")
-        self.caller_isns: array[int] = array("I")
-        self.caller_nexts: array[int] = array("I")
-        self.server_nexts: array[int] = array("I")
-        self.server_acks: array[int] = array("I")
-        self.copy_seqs: array[int] = array("I")
-        self.copy_times: array[float] = array("d")
-        self.caller_times: array[float] = array("d")
-        self.reply_times: array[float] = array("d")
         self.strike_times: array[float] = array("d")
+        self.use_rows(bytearray())
+
+    def use_rows(self, rows: bytearray) -> None:
+        """Lay the columns over rows: one cache line holds what a packet needs."""
+        self.rows = rows
+        view = memoryview(rows)
+        wide = view.cast("I")
+        short = view.cast("H")
+        times = view.cast("d")
+        self.roles = view[0::ROW_BYTES]
+        self.statuses = view[1::ROW_BYTES]
+        self.marks = view[2::ROW_BYTES]
+        self.strikes = view[3::ROW_BYTES]
+        self.services = short[2 :: ROW_BYTES // 2]
+        self.copies = short[3 :: ROW_BYTES // 2]
+        self.servers = wide[2 :: ROW_BYTES // 4]
+        self.revisions = wide[3 :: ROW_BYTES // 4]
+        self.caller_isns = wide[4 :: ROW_BYTES // 4]
+        self.caller_nexts = wide[5 :: ROW_BYTES // 4]
+        self.server_nexts = wide[6 :: ROW_BYTES // 4]
+        self.server_acks = wide[7 :: ROW_BYTES // 4]
+        self.copy_seqs = wide[8 :: ROW_BYTES // 4]
+        self.copy_times = times[5 :: ROW_BYTES // 8]
+        self.caller_times = times[6 :: ROW_BYTES // 8]
+        self.reply_times = times[7 :: ROW_BYTES // 8]
 
     @property
     def kept(self) -> int:
@@ -146,31 +156,11 @@
         size = len(self.keys)
         more = max(GROWTH_SLOTS, size // 8)
         self.keys.extend([None] * more)
-        for column in (self.roles, self.statuses, self.marks, self.strikes):
-            column.extend(bytes(more))
-        for numbers in self.columns():
-            numbers.frombytes(bytes(more * numbers.itemsize))
+        for cold in (self.epochs, self.strike_times):
+            cold.frombytes(bytes(more * cold.itemsize))
+        self.use_rows(self.rows + bytes(more * ROW_BYTES))
         self.free.extend(range(size + more - 1, size - 1, -1))
 
-    def columns(self) -> list[array]:
-        """Return the columns that are wider than a byte."""
-        return [
-            self.servers,
-            self.services,
-            self.copies,
-            self.epochs,
-            self.revisions,
-            self.caller_isns,
-            self.caller_nexts,
-            self.server_nexts,
-            self.server_acks,
-            self.copy_seqs,
-            self.copy_times,
-            self.caller_times,
-            self.reply_times,
-            self.strike_times,
-        ]
-
 
 def end_of(segment: Segment) -> int:
     """Return the sequence number after a segment."""
