Show a control VM as joining until it votes

Cause: a VM that had lost its disk showed as up while it was still receiving the log, so an operator could lose the next disk too early. Change: the status tells voters from learners; status and sending have modules of their own. Measured: a test of the repair's states.

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -14,10 +14,9 @@
 )
 from kumquatmux_agreement.messages import (
     AppendReply,
-    AppendRequest,
-    SnapshotChunk,
     SnapshotReply,
 )
+from kumquatmux_agreement.sending import send_next
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_core.problems import Problem
@@ -115,7 +114,7 @@
     leadership.heartbeat_at = core.clock + core.settings.heartbeat_s
     for member, progress in leadership.progress.items():
         progress.next = max(progress.match + 1, min(progress.next, _resend(progress)))
-        _send_next(core, leadership, member, progress)
+        send_next(core, leadership, member, progress)
 
 
 def send_entries(core: ReplicaCore, leadership: Leadership) -> None:
@@ -123,7 +122,7 @@
     for member, progress in leadership.progress.items():
         has_more = progress.next <= core.log.last_index
         if has_more and progress.snapshot is None and _has_window(core, progress):
-            _send_next(core, leadership, member, progress)
+            send_next(core, leadership, member, progress)
 
 
 def append_answered(core: ReplicaCore, message: AppendReply) -> None:
@@ -145,13 +144,13 @@
         if message.round >= progress.round:
             _note_lost_entries(progress, sender, hint)
         progress.next = max(progress.match + 1, hint)
-        _send_next(core, leadership, sender, progress)
+        send_next(core, leadership, sender, progress)
     if core.leadership is not leadership:
         return
     answer_reads(core, leadership)
     has_more = progress.next <= core.log.last_index
     if message.is_matched and has_more and _has_window(core, progress):
-        _send_next(core, leadership, sender, progress)
+        send_next(core, leadership, sender, progress)
 
 
 def snapshot_answered(core: ReplicaCore, message: SnapshotReply) -> None:
@@ -168,7 +167,7 @@
     progress.received = message.received
     answer_reads(core, leadership)
     if has_moved:
-        _send_next(core, leadership, message.sender, progress)
+        send_next(core, leadership, message.sender, progress)
 
 
 def advance_commit(core: ReplicaCore) -> None:
@@ -188,7 +187,7 @@
     for member, progress in leadership.progress.items():
         is_behind = progress.told_commit < core.commit <= progress.match
         if is_behind:
-            _send_next(core, leadership, member, progress)
+            send_next(core, leadership, member, progress)
 
 
 def answer_reads(core: ReplicaCore, leadership: Leadership) -> None:
@@ -251,56 +250,3 @@
     if hint <= progress.match:
         log_decision("agreement-entries-lost", member=member, after=hint - 1)
         progress.match = hint - 1
-
-
-def _send_next(
-    core: ReplicaCore, leadership: Leadership, member: ReplicaId, progress: Progress
-) -> None:
-    if progress.snapshot is not None or progress.next <= core.log.base_index:
-        _send_chunk(core, leadership, member, progress)
-        return
-    previous = progress.next - 1
-    previous_term = core.log.term_at(previous)
-    if previous_term is None:
-        raise AssertionError(f"entry {previous} is not in the log")
-    entries = core.log.batch(
-        progress.next, core.log.last_index, core.settings.batch_bytes
-    )
-    progress.next += len(entries)
-    progress.told_commit = core.commit
-    message = AppendRequest(
-        core.cluster,
-        core.me,
-        member,
-        core.term,
-        previous,
-        previous_term,
-        entries,
-        core.commit,
-        leadership.round,
-    )
-    core.send(message, member.vm)
-
-
-def _send_chunk(
-    core: ReplicaCore, leadership: Leadership, member: ReplicaId, progress: Progress
-) -> None:
-    if progress.snapshot is None:
-        progress.snapshot = core.log.snapshot
-        progress.received = 0
-    snapshot = progress.snapshot
-    start = progress.received
-    message = SnapshotChunk(
-        core.cluster,
-        core.me,
-        member,
-        core.term,
-        snapshot.log_index,
-        snapshot.term,
-        snapshot.configuration,
-        start,
-        len(snapshot.data),
-        snapshot.data[start : start + core.settings.chunk_bytes],
-        leadership.round,
-    )
-    core.send(message, member.vm)
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -4,12 +4,10 @@
 
 from functools import singledispatchmethod
 from random import Random
-from typing import NamedTuple
 
 from kumquatmux_agreement import following, leading, voting
 from kumquatmux_agreement.core import ReplicaCore
 from kumquatmux_agreement.entries import (
-    Configuration,
     DurableState,
     ReplicaId,
     Snapshot,
@@ -39,6 +37,7 @@
     VoteRequest,
 )
 from kumquatmux_agreement.settings import ReplicaSettings
+from kumquatmux_agreement.status import ReplicaStatus
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.problems import Problem
 
@@ -46,35 +45,6 @@
 """Compactions that entries outlast for a member that receives a snapshot."""
 
 
-class ReplicaStatus(NamedTuple):
-    """What operators see of a replica.
-
-    Attributes:
-        role: What it is.
-        term: The term it is in.
-        leader: The leader if known.
-        commit: Last entry known to be committed.
-        last_index: Last entry of its log.
-        snapshot_index: Last entry of its snapshot.
-        configuration: Who takes part.
-        live: Members that answered lately, if it leads.
-        has_lease: Whether it may answer reads alone.
-        is_whole: Whether every wanted VM votes by a committed configuration, and if
-            it leads, whether they hold all entries. Only then may another disk go.
-    """
-
-    role: Role
-    term: int
-    leader: ReplicaId | None
-    commit: int
-    last_index: int
-    snapshot_index: int
-    configuration: Configuration
-    live: tuple[ReplicaId, ...]
-    has_lease: bool
-    is_whole: bool
-
-
 class Replica:
     """One replica of the log.
 
--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -0,0 +1,62 @@
+"""What a leader sends a member next."""
+
+from __future__ import annotations
+
+from kumquatmux_agreement.core import ReplicaCore
+from kumquatmux_agreement.entries import ReplicaId
+from kumquatmux_agreement.leadership import Leadership, Progress
+from kumquatmux_agreement.messages import AppendRequest, SnapshotChunk
+
+
+def send_next(
+    core: ReplicaCore, leadership: Leadership, member: ReplicaId, progress: Progress
+) -> None:
+    """Send a member the entries or the part of a snapshot it needs next."""
+    if progress.snapshot is not None or progress.next <= core.log.base_index:
+        _send_chunk(core, leadership, member, progress)
+        return
+    previous = progress.next - 1
+    previous_term = core.log.term_at(previous)
+    if previous_term is None:
+        raise AssertionError(f"entry {previous} is not in the log")
+    entries = core.log.batch(
+        progress.next, core.log.last_index, core.settings.batch_bytes
+    )
+    progress.next += len(entries)
+    progress.told_commit = core.commit
+    message = AppendRequest(
+        core.cluster,
+        core.me,
+        member,
+        core.term,
+        previous,
+        previous_term,
+        entries,
+        core.commit,
+        leadership.round,
+    )
+    core.send(message, member.vm)
+
+
+def _send_chunk(
+    core: ReplicaCore, leadership: Leadership, member: ReplicaId, progress: Progress
+) -> None:
+    if progress.snapshot is None:
+        progress.snapshot = core.log.snapshot
+        progress.received = 0
+    snapshot = progress.snapshot
+    start = progress.received
+    message = SnapshotChunk(
+        core.cluster,
+        core.me,
+        member,
+        core.term,
+        snapshot.log_index,
+        snapshot.term,
+        snapshot.configuration,
+        start,
+        len(snapshot.data),
+        snapshot.data[start : start + core.settings.chunk_bytes],
+        leadership.round,
+    )
+    core.send(message, member.vm)
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -454,6 +454,25 @@
     assert follower.replica.core.log.snapshot.data == b"abcdef"
 
 
+def test_a_vm_that_lost_its_disk_shows_as_joining_until_it_votes():
+    again = ReplicaId("c", "2")
+    repairing = Configuration(VMS, (A, B, C), (again,))
+    restored = state(entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", repairing)])
+    driver = Driver(restored=restored)
+    driver.tick(4.5)
+    driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.sync()
+    driver.give(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.sync()
+    for _ in range(30):
+        driver.answer(B)
+        driver.answer(again, index=0, matched=False)
+        driver.tick(0.1)
+    status = driver.replica.status()
+    assert (status.voting_vms, status.joining_vms) == ({"a", "b"}, {"c"})
+    assert not status.is_whole
+
+
 def test_idle_costs_two_messages_a_follower_and_second():
     driver = leader()
     for _ in range(100):
--- a/libs/daemons/src/kumquatmux_daemons/control/desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/desk.py
@@ -215,13 +215,14 @@
     def _control_vms(self) -> tuple[ControlVm, ...]:
         settings = self.core.settings
         status = self.core.replica.status()
-        live = {replica.vm for replica in status.live}
         rows = [ControlVm(settings.vm, settings.zone, str(status.role))]
         for member in settings.control:
             state = "unknown"
             if member.vm == self.core.leader:
                 state = str(Role.LEADER)
             elif status.role == Role.LEADER:
-                state = "up" if member.vm in live else "unreachable"
+                state = "up" if member.vm in status.voting_vms else "unreachable"
+                if member.vm in status.joining_vms:
+                    state = "joining"
             rows.append(ControlVm(member.vm, member.zone, state))
         return tuple(rows)
--- a/libs/daemons/src/kumquatmux_daemons/operators/desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/operators/desk.py
@@ -87,7 +87,7 @@
     Attributes:
         vm: Its name.
         zone: Its availability zone.
-        state: Role in the log, ``unreachable`` or ``unknown``.
+        state: Role in the log, ``up``, ``joining``, ``unreachable`` or ``unknown``.
     """
 
     vm: str
