--- a/libs/daemons/src/kumquatmux_daemons/control/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/daemon.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import signal
+from collections import Counter
 from collections.abc import AsyncIterator
 from functools import singledispatch
 from typing import Any, NamedTuple
@@ -14,14 +15,17 @@
 from expression import Error, Ok, Result
 
 from kumquatmux_agreement.entries import ReplicaId, founding_state, joining_state
+from kumquatmux_agreement.events import Role
 from kumquatmux_agreement.messages import MESSAGE_TYPES as REPLICA_MESSAGES
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core import decisions
+from kumquatmux_core.identity import Endpoint
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.announce.server import TlsFiles, serve
 from kumquatmux_daemons.control.core import ControlCore, ControlSettings, Member
 from kumquatmux_daemons.control.desk import ControlDesk
 from kumquatmux_daemons.control.effects import FromCopy, FromReplica, Tick
+from kumquatmux_daemons.entry.metrics import Metrics, every_period
 from kumquatmux_daemons.keys.curve import read_curve_pair
 from kumquatmux_daemons.operators.api import operators_app
 from kumquatmux_daemons.reports import DrainAnswer, VmReport
@@ -145,6 +149,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(take_messages, desk, links)
         nursery.start_soon(keep_time, desk)
+        nursery.start_soon(send_metrics, desk, links, settings.statsd)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             nursery.start_soon(watch_signals, signals, stopping, exit_codes, nursery)
             logging.info("control vm=%s zone=%s ready", settings.vm, settings.zone)
@@ -190,6 +195,28 @@
         await trio.sleep(TICK_S)
 
 
+async def send_metrics(desk: ControlDesk, links: PeerLinks, to: Endpoint) -> None:
+    """Send counters and gauges, until cancelled."""
+    metrics = Metrics(to, desk.core.settings.vm)
+    while True:
+        await every_period()
+        counts = Counter(desk.told_counts)
+        counts.update({f"sent.{kind}": n for kind, n in links.sent_bytes.items()})
+        metrics.send(counts, gauges_of(desk, trio.current_time()))
+
+
+def gauges_of(desk: ControlDesk, now: float) -> dict[str, float]:
+    """Return what is measured of a control VM at a time."""
+    status = desk.core.replica.status()
+    return {
+        "revision": float(desk.core.changes.revision),
+        "can_accept": float(desk.core.can_accept(now)),
+        "leads": float(status.role == Role.LEADER),
+        "term": float(status.term),
+        "log_entries": float(status.last_index - status.snapshot_index),
+    }
+
+
 async def serve_operators(
     desk: ControlDesk, settings: NodeSettings, stopping: trio.Event
 ) -> None:
--- a/libs/daemons/src/kumquatmux_daemons/control/desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/desk.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from functools import singledispatchmethod
 from itertools import count
 from typing import Any, NamedTuple, Protocol
@@ -72,6 +72,7 @@
         core: The decisions.
         links: What messages leave by.
         failures: Last failures, newest first.
+        told_counts: Answers to operators' wishes, by kind.
     """
 
     def __init__(self, core: ControlCore, links: Sender) -> None:
@@ -82,6 +83,7 @@
         self.asked: dict[str, trio.Event] = {}
         self.told: dict[str, Handling] = {}
         self.rounds: dict[int, Round] = {}
+        self.told_counts: Counter[str] = Counter()
 
     def give(self, event: Any) -> None:
         """Give the core an event and carry out what follows."""
@@ -102,6 +104,7 @@
         waiting = self.asked.get(effect.token)
         if waiting is not None:
             self.told[effect.token] = effect.handling
+            self.told_counts[f"told.{type(effect.handling).__name__.lower()}"] += 1
             waiting.set()
 
     @carry_out.register
--- a/libs/daemons/tests/test_control_daemon.py
+++ b/libs/daemons/tests/test_control_daemon.py
@@ -3,6 +3,7 @@
 import datetime
 import ssl
 from pathlib import Path
+from random import Random
 
 import httpx
 import pytest
@@ -12,16 +13,17 @@
 from kumquatmux_daemons.announce.server import GRACEFUL_TIMEOUT_SECONDS
 from kumquatmux_daemons.commands.new_keys import make_node_keys
 from kumquatmux_daemons.control import desk as desk_module
-from kumquatmux_daemons.control.core import Member
+from kumquatmux_daemons.control.core import ControlCore, Member
 from kumquatmux_daemons.control.daemon import (
     control_settings,
+    gauges_of,
     hand_over,
     main,
     open_parts,
     run,
 )
 from kumquatmux_daemons.control.desk import ControlDesk
-from kumquatmux_daemons.control.effects import LogBehind, StoodDown, Tell
+from kumquatmux_daemons.control.effects import LogBehind, StoodDown, Tell, Tick
 from kumquatmux_daemons.keys.tokens import hash_token
 from kumquatmux_daemons.operators.desk import Settled, Uncertain
 from kumquatmux_daemons.reports import DrainAnswer, VmReport
@@ -151,6 +153,20 @@
     assert desk.told == {}
 
 
+async def test_metrics_tell_what_a_control_vm_does(node, autojump_clock):
+    parts = open_parts(node, found=True).ok
+    settings = control_settings(node, parts.store)
+    core = ControlCore(settings, parts.store.restored, parts.store, Random(1))
+    desk = ControlDesk(core, FakeLinks())
+    for _ in range(30):
+        desk.give(Tick())
+        await trio.sleep(0.1)
+    assert isinstance(await desk.change(CHANGE), Settled)
+    gauges = gauges_of(desk, trio.current_time())
+    assert gauges.items() >= {"revision": 1.0, "can_accept": 1.0, "leads": 1.0}.items()
+    assert desk.told_counts == {"told.settled": 1}
+
+
 async def test_a_failed_disk_is_shown_to_operators(node, autojump_clock):
     desk = ControlDesk(FakeCore(node), FakeLinks())
     desk.carry_out(StoodDown("the disk failed"))
