--- a/libs/settings/src/kumquatmux_settings/tree.py
+++ b/libs/settings/src/kumquatmux_settings/tree.py
@@ -210,6 +210,11 @@
     return tuple(ZoneName(name) for name in _declared(values, "zones", "region"))
 
 
+def service_names(values: Values) -> list[str]:
+    """Return the names of the declared services, sorted."""
+    return _declared(values, "services", "address")
+
+
 def service_of(values: Values, name: str) -> Service | None:
     """Return one declared service, None if it is not declared."""
     if f"services.{name}.address" not in values:
@@ -219,8 +224,7 @@
 
 def services(values: Values) -> tuple[Service, ...]:
     """Return the declared services."""
-    names = _declared(values, "services", "address")
-    return tuple(_service(values, name) for name in names)
+    return tuple(_service(values, name) for name in service_names(values))
 
 
 def traffic_rules(values: Values, zone: str, service: str) -> TrafficRules:
--- a/libs/settings/src/kumquatmux_settings/validate.py
+++ b/libs/settings/src/kumquatmux_settings/validate.py
@@ -10,11 +10,10 @@
 from kumquatmux_settings.paths import Place, parse_path
 from kumquatmux_settings.schema import ORDERED, SERVICE, Ordered
 from kumquatmux_settings.tree import (
-    Service,
     Values,
     read_value,
+    service_names,
     service_of,
-    services,
     value_in_force,
     zones,
 )
@@ -106,14 +105,14 @@
     """Refuse two services at one address."""
     if not any(_is_identity(place) for place in touched):
         return
-    owners: dict[tuple[Any, int], Service] = {}
-    for service in services(values):
-        key = (service.address, service.protocol)
-        other = owners.setdefault(key, service)
-        if other is not service:
-            detail = f"{service.address} already belongs to service {other.service}"
-            path = f"services.{service.service}.address"
-            yield Problem("address-shared", detail, path)
+    owners: dict[tuple[Any, Any], str] = {}
+    for name in service_names(values):
+        address = value_in_force(values, SERVICE.name, "address", service=name)
+        protocol = value_in_force(values, SERVICE.name, "protocol", service=name)
+        other = owners.setdefault((address, protocol), name)
+        if other != name:
+            detail = f"{address} already belongs to service {other}"
+            yield Problem("address-shared", detail, f"services.{name}.address")
 
 
 def _order(values: Values, touched: list[Place]) -> Iterator[Problem]:
