--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -31,10 +31,8 @@
     LeaseState,
     LeaseUpdate,
     Leave,
-    Message,
     PeersChanged,
     Received,
-    SendMessage,
     Tick,
     Ticket,
 )
@@ -49,6 +47,7 @@
     session_of,
 )
 from kumquatmux_membership.settings import LeaseSettings
+from kumquatmux_membership.sharing import Sharing
 from kumquatmux_membership.stamps import echoes_us
 from kumquatmux_membership.told import ToldTable
 
@@ -68,7 +67,8 @@
         self.settings = settings = settings.bounded
         self.holder = Holder()
         self.known = KnownServers(settings)
-        self.told: dict[VmId, ToldTable] = {}
+        self.sharing = Sharing(me, settings, self.holder)
+        self.told = self.sharing.told
         self.peers: dict[VmId, Vm] = {}
         self.notices = Notices(settings)
         self.freshness = Freshness(settings)
@@ -85,7 +85,7 @@
     def use_settings(self, settings: LeaseSettings) -> None:
         """Bring other periods into force; leases that run keep their end."""
         self.settings = settings = settings.bounded
-        for part in (self.known, self.notices, self.freshness):
+        for part in (self.known, self.notices, self.freshness, self.sharing):
             part.settings = settings
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -106,14 +106,14 @@
         changed = self.freshness.review(self.holder, self.told, self.known, now)
         if changed is not None:
             self.actions.append(changed)
-        return self.actions
+        return self.actions + self.sharing.take_outgoing()
 
     def _expire(self, now: float) -> None:
         base = self.holder.version
         for lease in self.holder.expire(now):
             self.freshness.dirty = True
             decisions.log("lease-ended", server=lease.server, service=lease.service)
-        self._push(base, now)
+        self.sharing.push(base, now)
 
     @singledispatchmethod
     def _on(self, event: Any, now: float) -> None:
@@ -122,12 +122,12 @@
     @_on.register
     def _on_tick(self, event: Tick, now: float) -> None:
         for vm in self.notices.due(now):
-            self._send_table(vm, self.notices.base(vm), ack=True)
+            self.sharing.send_table(vm, self.notices.base(vm), ack=True)
         if now < self.next_housekeeping:
             return
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
-        self._drop_silent_holders(now)
-        for server in self._claimed():
+        self.freshness.dirty |= self.sharing.drop_silent(now)
+        for server in self.sharing.claimed():
             self.known.seen(server, now)
         before = now - self.settings.retired_seconds
         self.holder.prune(before)
@@ -142,6 +142,7 @@
     @_on.register
     def _on_incarnation(self, event: IncarnationRaised, now: float) -> None:
         self.me = self.me._replace(incarnation=event.incarnation)
+        self.sharing.me = self.me
 
     @_on.register
     def _on_leave(self, event: Leave, now: float) -> None:
@@ -160,9 +161,13 @@
         phase = Phase.DRAINING if lease.draining else Phase.LIVE
         lease = self._in_session(lease, phase)
         stamp = event.ticket.stamp if event.ticket else now
+        expires = stamp + self.settings.lease_seconds
+        own = self.holder.held.get(lease.server)
+        if own is not None and _same_session(own.lease, lease):
+            expires = max(expires, own.expires)
         base = self.holder.version
-        self._hold(lease, stamp + self.settings.lease_seconds, now)
-        self._push(base, now)
+        self._hold(lease, expires, now)
+        self.sharing.push(base, now)
         self._answer(lease.server, LeaseState.GRANTED, now)
 
     def _in_session(self, lease: Lease, phase: Phase) -> Lease:
@@ -197,7 +202,7 @@
             return
         behind = table.confirm(message)
         if behind and now - table.asked >= self.settings.resend_seconds:
-            self._ask(table, now)
+            self.sharing.ask(table, now)
 
     @_receive.register
     def _receive_update(self, message: LeaseUpdate, now: float) -> None:
@@ -205,28 +210,37 @@
         if table is None:
             return
         if not table.apply(message):
-            self._ask(table, now)
+            self.sharing.ask(table, now)
             return
         self.freshness.dirty = True
         base = self.holder.version
         for lease in message.leases:
             self._take(lease, now)
-        self._push(base, now)
+        self.sharing.push(base, now)
         if message.ack:
             ack = LeaseAck(self.me.vm, table.incarnation, table.version)
-            self._send(message.sender, ack)
+            self.sharing.send(message.sender, ack)
 
     @_receive.register
     def _receive_request(self, message: LeaseRequest, now: float) -> None:
         mine = message.incarnation == self.me.incarnation
         since = message.since if mine else 0
-        self._send_table(message.sender, since, ack=False)
+        self.sharing.send_table(message.sender, since, ack=False)
 
     @_receive.register
     def _receive_ack(self, message: LeaseAck, now: float) -> None:
         if message.incarnation == self.me.incarnation:
             self.notices.acknowledge(message.sender, message.version)
 
+    def _met(self, vm: VmId, incarnation: int) -> ToldTable | None:
+        """Return the table of a holder's present process, None for an earlier one."""
+        table = self.sharing.table(vm)
+        before = table.incarnation
+        if not table.meet(incarnation):
+            return None
+        self.freshness.dirty |= table.incarnation != before
+        return table
+
     def _take(self, lease: Lease, now: float) -> None:
         """Merge what a peer tells of a server, also into what is held here."""
         if lease.held:
@@ -279,8 +293,8 @@
         witnesses = self._witnesses(lease)
         self.notices.add(lease, self.holder.version, set(witnesses), now)
         for vm in sorted(witnesses):
-            self._send_table(vm, base, ack=True)
-        self._push(base, now, skip=witnesses)
+            self.sharing.send_table(vm, base, ack=True)
+        self.sharing.push(base, now, skip=witnesses)
 
     def _witnesses(self, lease: Lease) -> set[VmId]:
         """Return the VMs that may hold a server: those of its zone, if it is known."""
@@ -289,7 +303,9 @@
 
     def _desk(self, now: float) -> Desk:
         started = self.started if self.started is not None else now
-        unheard = [vm for vm in self.peers if self._table(vm).confirmed < started]
+        unheard = [
+            vm for vm in self.peers if self.sharing.table(vm).confirmed < started
+        ]
         warm = now - started >= self.settings.stale_seconds
         return Desk(
             me=self.me,
@@ -314,74 +330,6 @@
         ticket = Ticket(self.me.incarnation, now)
         self.actions.insert(0, LeaseAnswer(server, state, ticket, session, problem))
 
-    def _table(self, vm: VmId) -> ToldTable:
-        table = self.told.get(vm)
-        if table is None:
-            table = self.told[vm] = ToldTable(vm)
-        return table
-
-    def _met(self, vm: VmId, incarnation: int) -> ToldTable | None:
-        """Return the table of a holder's present process, None for an earlier one."""
-        table = self._table(vm)
-        before = table.incarnation
-        if not table.meet(incarnation):
-            return None
-        self.freshness.dirty |= table.incarnation != before
-        return table
-
-    def _ask(self, table: ToldTable, now: float) -> None:
-        table.asked = now
-        request = LeaseRequest(self.me.vm, table.version, table.incarnation)
-        self._send(table.holder, request)
-
-    def _reachable(self, vm: VmId, now: float) -> bool:
-        table = self.told.get(vm)
-        if table is None:
-            return False
-        latest = max(table.confirmed, table.pending)
-        return now - latest <= self.settings.stale_seconds
-
-    def _push(self, base: int, now: float, skip: set[VmId] | None = None) -> None:
-        """Tell reachable peers what changed in our table since a version of it."""
-        if self.holder.version == base:
-            return
-        for vm in self.told:
-            if self._reachable(vm, now) and vm not in (skip or ()):
-                self._send_table(vm, base, ack=False)
-
-    def _send_table(self, vm: VmId, since: int, *, ack: bool) -> None:
-        complete = since == 0 or since < self.holder.pruned
-        if complete:
-            leases = self.holder.all_leases()
-        else:
-            leases = self.holder.changes_since(since)
-        update = LeaseUpdate(
-            sender=self.me.vm,
-            incarnation=self.me.incarnation,
-            version=self.holder.version,
-            complete=complete,
-            leases=leases,
-            base=since,
-            ack=ack,
-        )
-        self._send(vm, update)
-
-    def _send(self, vm: VmId, message: Message) -> None:
-        self.actions.append(SendMessage(vm, message))
-
-    def _claimed(self) -> set[ServerId]:
-        claimed = set(self.holder.held)
-        for table in self.told.values():
-            claimed.update(table.leases)
-        return claimed
-
-    def _drop_silent_holders(self, now: float) -> None:
-        for vm, table in list(self.told.items()):
-            latest = max(table.confirmed, table.pending)
-            if now - latest > self.settings.forget_seconds:
-                del self.told[vm]
-                self.freshness.dirty = True
-
 
 def _same_session(one: Lease, other: Lease) -> bool:
     return session_of(one.version) == session_of(other.version)
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -0,0 +1,110 @@
+"""Tells peers what changed in the leases held here, and asks for what they hold."""
+
+from __future__ import annotations
+
+from kumquatmux_core.identity import ServerId, Vm, VmId
+from kumquatmux_membership.events import (
+    Action,
+    LeaseRequest,
+    LeaseUpdate,
+    Message,
+    SendMessage,
+)
+from kumquatmux_membership.holder import Holder
+from kumquatmux_membership.settings import LeaseSettings
+from kumquatmux_membership.told import ToldTable
+
+
+class Sharing:
+    """The exchange of lease tables with the other VMs.
+
+    Args:
+        me: This VM.
+        settings: When a peer counts as reachable and when it is forgotten.
+        holder: The leases held here.
+    """
+
+    def __init__(self, me: Vm, settings: LeaseSettings, holder: Holder) -> None:
+        self.me = me
+        self.settings = settings
+        self.holder = holder
+        self.told: dict[VmId, ToldTable] = {}
+        self.outgoing: list[Action] = []
+
+    def take_outgoing(self) -> list[Action]:
+        """Return the messages to be sent since the last call."""
+        outgoing = self.outgoing
+        self.outgoing = []
+        return outgoing
+
+    def table(self, vm: VmId) -> ToldTable:
+        """Return what a peer has told, nothing for a new one."""
+        table = self.told.get(vm)
+        if table is None:
+            table = self.told[vm] = ToldTable(vm)
+        return table
+
+    def ask(self, table: ToldTable, now: float) -> None:
+        """Ask a holder for what changed since the version known here."""
+        table.asked = now
+        request = LeaseRequest(self.me.vm, table.version, table.incarnation)
+        self.send(table.holder, request)
+
+    def push(self, base: int, now: float, skip: set[VmId] | None = None) -> None:
+        """Tell reachable peers what changed in our table since a version of it.
+
+        Args:
+            base: The version.
+            now: The time, in seconds.
+            skip: Peers that were told already.
+        """
+        if self.holder.version == base:
+            return
+        for vm in self.told:
+            if self._reachable(vm, now) and vm not in (skip or ()):
+                self.send_table(vm, base, ack=False)
+
+    def send_table(self, vm: VmId, since: int, *, ack: bool) -> None:
+        """Tell a peer what changed since a version, or all where that is forgotten."""
+        complete = since == 0 or since < self.holder.pruned
+        if complete:
+            leases = self.holder.all_leases()
+        else:
+            leases = self.holder.changes_since(since)
+        update = LeaseUpdate(
+            sender=self.me.vm,
+            incarnation=self.me.incarnation,
+            version=self.holder.version,
+            complete=complete,
+            leases=leases,
+            base=since,
+            ack=ack,
+        )
+        self.send(vm, update)
+
+    def send(self, vm: VmId, message: Message) -> None:
+        """Send a message with the next actions."""
+        self.outgoing.append(SendMessage(vm, message))
+
+    def claimed(self) -> set[ServerId]:
+        """Return the servers that anybody holds, as far as known."""
+        claimed = set(self.holder.held)
+        for table in self.told.values():
+            claimed.update(table.leases)
+        return claimed
+
+    def drop_silent(self, now: float) -> bool:
+        """Forget holders not heard for long; return whether there were any."""
+        silent = [
+            vm
+            for vm, table in self.told.items()
+            if now - max(table.confirmed, table.pending) > self.settings.forget_seconds
+        ]
+        for vm in silent:
+            del self.told[vm]
+        return bool(silent)
+
+    def _reachable(self, vm: VmId, now: float) -> bool:
+        table = self.told[vm]
+        latest = max(table.confirmed, table.pending)
+        return now - latest <= self.settings.stale_seconds
