Use the report that all fault runs share

Cause: two types of report stood side by side. Change: the settings runs return the shared one. The test no longer counts accepted changes itself: the checker comes_back already fails a run in which none is accepted after healing.

--- a/libs/lab/src/kumquatmux_lab/faultruns/settings.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import NamedTuple
 
 from kumquatmux_agreement.entries import ReplicaId
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.identity import VmId
+from kumquatmux_lab.faultruns.report import RunReport
 from kumquatmux_lab.faultruns.settings_cluster import CLUSTER, Cluster
 from kumquatmux_lab.faultruns.settings_faults import Faults
 from kumquatmux_lab.faultruns.settings_history import (
@@ -31,53 +31,12 @@
 POLL_S = 0.5
 
 
-class FaultCount(NamedTuple):
-    """How often a kind of fault was injected."""
-
-    kind: str
-    injected: int
-
-
-class RunReport(NamedTuple):
-    """What a run did and found.
-
-    Attributes:
-        seed: The run again, byte for byte.
-        size: Control VMs.
-        faults: Faults injected, by kind.
-        answers: Answers operators got, resends included.
-        accepted: Changes accepted.
-        violations: What should not have been; empty if all held.
-    """
-
-    seed: int
-    size: int
-    faults: tuple[FaultCount, ...]
-    answers: int
-    accepted: int
-    violations: tuple[str, ...]
-
-
 def run(seed: int) -> RunReport:
     """Run a cluster through faults and check its history."""
     random = Random(seed)
     cluster = _new_cluster(random)
     faults, history = _play(cluster)
-    answered = [one for one in history if isinstance(one, Answered)]
-    accepted = {
-        one.outcome.change_id
-        for one in answered
-        if one.outcome.verdict == Verdict.ACCEPTED
-    }
-    counts = tuple(FaultCount(*pair) for pair in sorted(faults.counts.items()))
-    return RunReport(
-        seed,
-        len(cluster.founders),
-        counts,
-        len(answered),
-        len(accepted),
-        violations(history),
-    )
+    return RunReport(seed, dict(sorted(faults.counts.items())), violations(history))
 
 
 def _new_cluster(random: Random) -> Cluster:
--- a/libs/lab/tests/test_settings_faultruns.py
+++ b/libs/lab/tests/test_settings_faultruns.py
@@ -40,8 +40,7 @@
     reports = [run(seed) for seed in SEEDS]
     found = {report.seed: report.violations for report in reports if report.violations}
     assert found == {}
-    assert {fault.kind for report in reports for fault in report.faults} == KINDS
-    assert all(report.accepted > 0 for report in reports)
+    assert {kind for report in reports for kind in report.faults} == KINDS
 
 
 def test_a_run_repeats_byte_for_byte():
