--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -28,6 +28,7 @@
     Reply,
     Role,
     Send,
+    SnapshotTaken,
     Tick,
 )
 from kumquatmux_agreement.messages import (
@@ -103,9 +104,9 @@
         return self.give(Received(reply))
 
 
-def leader(**settings):
+def leader(restored=None, **settings):
     """Return a leader whose first entry is committed."""
-    driver = Driver(**settings)
+    driver = Driver(restored=restored, **settings)
     driver.tick(4.5)
     assert driver.role() == Role.CANDIDATE
     term = driver.replica.core.term
@@ -473,6 +474,47 @@
     assert not status.is_whole
 
 
+def test_a_cluster_is_not_whole_before_its_last_step_is_committed():
+    driver = leader()
+    assert driver.replica.status().is_whole
+    driver.give(ChangeMembership(VMS, "t"))
+    driver.sync()
+    assert not driver.replica.status().is_whole
+    driver.answer(B)
+    driver.answer(C)
+    assert driver.replica.status().is_whole
+
+
+def test_a_leader_does_not_take_its_own_old_request_to_join_for_a_newcomer():
+    driver = leader()
+    before = driver.replica.core.log.configuration
+    driver.give(Received(JoinRequest("lab", A)))
+    driver.tick(0.5)
+    assert driver.replica.core.log.configuration == before
+
+
+def test_a_snapshot_on_its_way_outlasts_the_next_compaction():
+    restored = state()._replace(snapshot=Snapshot(5, 1, THREE, b"abcdef"))
+    driver = leader(restored=restored, chunk_bytes=2, keep_entries=0)
+    driver.answer(C, index=1, matched=False)
+    driver.give(Propose(b"x", "t"))
+    driver.sync()
+    driver.answer(B)
+    commit = driver.replica.core.commit
+    driver.give(SnapshotTaken(commit, b"another"))
+    driver.sync()
+    term = driver.replica.core.term
+    for received in (2, 4):
+        number = driver.replica.core.leadership.round
+        reply = SnapshotReply("lab", C, A, term, 5, received, number)
+        driver.give(Received(reply))
+    chunks = driver.sent(SnapshotChunk)
+    assert [(one.log_index, one.offset) for one in chunks] == [(5, 0), (5, 2), (5, 4)]
+    driver.seen.clear()
+    driver.answer(C, index=5)
+    assert driver.sent(AppendRequest)[0].entries[0].log_index == 6
+
+
 def test_idle_costs_two_messages_a_follower_and_second():
     driver = leader()
     for _ in range(100):
