--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -36,11 +36,11 @@
 )
 from kumquatmux_membership.peer import NEVER, Peer
 from kumquatmux_membership.probes import Probes
+from kumquatmux_membership.roster import UNKNOWN_INCARNATION, Roster
 from kumquatmux_membership.settings import MembershipSettings
 from kumquatmux_membership.stamps import STAMP_STEP_SECONDS, echoes_us
 from kumquatmux_membership.view import View
 
-UNKNOWN_INCARNATION = 0
 INCARNATION_STEP_BITS = 20
 HOUSEKEEPING_SECONDS = 1.0
 REPLY_GAP_SECONDS = 0.05
@@ -67,9 +67,8 @@
         self.me = me
         self.settings = settings
         self.random = random
-        self.peers: dict[VmId, Peer] = {
-            vm.vm: Peer(vm, NEVER, listed=True) for vm in peers if vm.vm != me.vm
-        }
+        self.roster = Roster(me.vm, peers)
+        self.peers = self.roster.peers
         self.revision = 0
         self.digest = ""
         self.leases = 0
@@ -85,7 +84,6 @@
         self.probe_number = 0
         self.view = View()
         self.touched: set[VmId] = set()
-        self.listing: tuple[Vm, ...] | None = None
         self.next_housekeeping = NEVER
         self.actions: list[Action] = []
 
@@ -113,8 +111,10 @@
         self._on(event, now)
         if now >= self.next_housekeeping:
             self.next_housekeeping = now + HOUSEKEEPING_SECONDS
-            self._forget(now)
-            self._list_peers(now)
+            self.roster.forget(now, self.settings)
+            news = self.roster.news(now, self.settings)
+            if news is not None:
+                self.actions.append(news)
         self._review(event, now)
         return self.actions
 
@@ -160,14 +160,10 @@
 
     @_on.register
     def _on_peers(self, event: PeersChanged, now: float) -> None:
-        named = {vm.vm: vm for vm in event.peers if vm.vm != self.me.vm}
-        for name, peer in list(self.peers.items()):
-            if peer.listed and name not in named:
-                self.view.stale = True
-                self.next_housekeeping = now
-                del self.peers[name]
-        for vm in named.values():
-            self._learn(vm, now).listed = True
+        self.view.stale = True
+        self.next_housekeeping = now
+        for vm in self.roster.replace(event.peers, now):
+            self._welcome(vm)
 
     @_on.register
     def _on_received(self, event: Received, now: float) -> None:
@@ -281,26 +277,14 @@
         decisions.log("peer-leaving", vm=peer.vm.vm)
 
     def _learn(self, vm: Vm, now: float) -> Peer:
-        peer = self.peers.get(vm.vm)
-        if peer is None:
-            peer = self.peers[vm.vm] = Peer(
-                vm._replace(incarnation=0), now, listed=False
-            )
+        if self.roster.learn(vm, now):
             self.next_housekeeping = now
-            self.touched.add(vm.vm)
-            decisions.log("peer-learned", vm=vm.vm, zone=vm.zone)
-            self.actions.append(PeerLearned(vm))
-        return peer
+            self._welcome(vm)
+        return self.peers[vm.vm]
 
-    def _forget(self, now: float) -> None:
-        for name, peer in list(self.peers.items()):
-            if peer.listed or peer.live:
-                continue
-            keep = self.settings.forget_seconds
-            if peer.left:
-                keep = self.settings.left_seconds
-            if now - max(peer.contact, peer.since) > keep:
-                del self.peers[name]
+    def _welcome(self, vm: Vm) -> None:
+        self.touched.add(vm.vm)
+        self.actions.append(PeerLearned(vm))
 
     def _heartbeat_round(self, now: float) -> None:
         spread = self.random.uniform(0.9, 1.0)
@@ -434,17 +418,5 @@
     def _raised(self) -> None:
         """Act on our own incarnation having been raised."""
 
-    def _list_peers(self, now: float) -> None:
-        listing = tuple(
-            sorted(
-                peer.vm._replace(incarnation=UNKNOWN_INCARNATION)
-                for peer in self.peers.values()
-                if not peer.left or now - peer.left_at < self.settings.left_seconds
-            )
-        )
-        if listing != self.listing:
-            self.listing = listing
-            self.actions.append(PeersChanged(listing))
-
     def _send(self, vm: VmId, message: Message) -> None:
         self.actions.append(SendMessage(vm, message))
--- /dev/null
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -0,0 +1,76 @@
+"""The VMs that belong to the system, named by the settings or learned at run time."""
+
+from __future__ import annotations
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import Vm, VmId
+from kumquatmux_membership.events import PeersChanged
+from kumquatmux_membership.peer import NEVER, Peer
+from kumquatmux_membership.settings import MembershipSettings
+
+UNKNOWN_INCARNATION = 0
+
+
+class Roster:
+    """All peers of one VM, reachable or not.
+
+    Args:
+        me: This VM.
+        listed: The VMs that the settings name; this one among them is skipped.
+
+    Attributes:
+        peers: The peers by name.
+        latest: The list as last told.
+    """
+
+    def __init__(self, me: VmId, listed: tuple[Vm, ...]) -> None:
+        self.me = me
+        self.peers: dict[VmId, Peer] = {
+            vm.vm: Peer(vm, NEVER, listed=True) for vm in listed if vm.vm != me
+        }
+        self.latest: tuple[Vm, ...] | None = None
+
+    def replace(self, listed: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
+        """Take what the settings name now; return the VMs that are new here."""
+        named = {vm.vm: vm for vm in listed if vm.vm != self.me}
+        for name, peer in list(self.peers.items()):
+            if peer.listed and name not in named:
+                del self.peers[name]
+        added = tuple(vm for vm in named.values() if self.learn(vm, now))
+        for name in named:
+            self.peers[name].listed = True
+        return added
+
+    def learn(self, vm: Vm, now: float) -> bool:
+        """Add a VM; return whether it is new."""
+        if vm.vm in self.peers or vm.vm == self.me:
+            return False
+        unknown = vm._replace(incarnation=UNKNOWN_INCARNATION)
+        self.peers[vm.vm] = Peer(unknown, now, listed=False)
+        decisions.log("peer-learned", vm=vm.vm, zone=vm.zone)
+        return True
+
+    def forget(self, now: float, settings: MembershipSettings) -> None:
+        """Drop learned VMs that left or have been silent for long."""
+        for name, peer in list(self.peers.items()):
+            if peer.listed or peer.live:
+                continue
+            keep = settings.forget_seconds
+            if peer.left:
+                keep = settings.left_seconds
+            if now - max(peer.contact, peer.since) > keep:
+                del self.peers[name]
+
+    def news(self, now: float, settings: MembershipSettings) -> PeersChanged | None:
+        """Return the list of peers if it is not what it was."""
+        listing = tuple(
+            sorted(
+                peer.vm._replace(incarnation=UNKNOWN_INCARNATION)
+                for peer in self.peers.values()
+                if not peer.left or now - peer.left_at < settings.left_seconds
+            )
+        )
+        if listing == self.latest:
+            return None
+        self.latest = listing
+        return PeersChanged(listing)
