Let a search confirm a doubted handshake only by a seen answer

Change: the search carries the doubted record; a half-open copy that saw no answer of its server walks on; after two failed searches a record without contrary proof holds.

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -7,6 +7,7 @@
 from kumquatmux_flows.bindings import Bindings
 from kumquatmux_flows.copies import Copies
 from kumquatmux_flows.events import (
+    Binding,
     FlowPlaced,
     Passing,
     ResetCaller,
@@ -19,7 +20,7 @@
 from kumquatmux_flows.routes import place_of
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import WAS_RESET, FlowStatus, Role
+from kumquatmux_flows.table import WAS_RESET, FlowStatus, Mark, Role
 from kumquatmux_flows.tracking import Tracking
 
 LIFECYCLE_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
@@ -138,9 +139,17 @@
         if target is None:
             self.unresolved(segment, now)
             return
-        passing = Passing(Stage.LOOKUP, 1, None, self.state.vm)
+        passing = Passing(Stage.LOOKUP, 1, self.doubted(segment), self.state.vm)
         self.state.out.append(SendToPeer(target, passing, segment.packet))
 
+    def doubted(self, segment: Segment) -> Binding | None:
+        """Return the record here that a search is to confirm or to replace."""
+        state = self.state
+        slot = state.table.slots.get(segment.key)
+        if slot is None or state.table.roles[slot] == Role.LEARNED:
+            return None
+        return state.binding(slot)
+
     def lookup_target(self, key: FlowKey, hops: int, origin: VmId) -> VmId | None:
         """Return the VM that a search visits next, None after the last."""
         state = self.state
@@ -212,11 +221,19 @@
         status = self.state.table.statuses[slot]
         if not self.evidence.contradicts(slot, segment) or not self.state.permits(slot):
             self.with_record(slot, segment, now)
-        elif status == FlowStatus.HALF_OPEN:
+        elif status == FlowStatus.HALF_OPEN and self.is_doubtful(slot, segment, now):
             self.state.drop(Refusal.CONFLICT)
         else:
             self.forward(slot, segment, now)
 
+    def is_doubtful(self, slot: int, segment: Segment, now: float) -> bool:
+        """Return whether a packet may be of a handshake with another server.
+
+        Without any answer of the server seen here, that is given up after two searches.
+        """
+        seen = self.state.table.marks[slot] & Mark.SERVER_SEEN
+        return bool(seen) or not self.missed_twice(segment, now)
+
     def confirmed_by_search(self, slot: int, segment: Segment, now: float) -> None:
         """Go on with a record whose server another VM names too.
 
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -144,15 +144,23 @@
         if segment.key in state.pending:
             state.drop(Refusal.DUPLICATE)
             return
-        binding = self.found(segment, now)
+        doubted = packet.passing.binding is not None
+        binding = self.found(segment, now, doubted=doubted)
         if binding is not None:
             passing = Passing(Stage.ADOPT, 0, binding)
             state.out.append(SendToPeer(origin, passing, segment.packet))
         elif not self.is_over(segment, now):
             self.search_on(packet, now)
 
-    def found(self, segment: Segment, now: float) -> Binding | None:
-        """Return the record here that fits a searched packet."""
+    def found(self, segment: Segment, now: float, *, doubted: bool) -> Binding | None:
+        """Return the record here that fits a searched packet.
+
+        Args:
+            segment: The packet.
+            now: Time in seconds.
+            doubted: Whether its owner has a record that the packet seems to contradict:
+                then a copy that has seen no answer of its server proves nothing.
+        """
         state = self.state
         slot = state.table.slots.get(segment.key)
         if slot is None or not state.permits(slot):
@@ -164,6 +172,9 @@
             return state.binding(slot)._replace(epoch=0) if fits else None
         if self.callers.evidence.contradicts(slot, segment):
             return None
+        half_open = state.table.statuses[slot] == FlowStatus.HALF_OPEN
+        if doubted and half_open and not state.table.marks[slot] & Mark.SERVER_SEEN:
+            return None
         return state.binding(slot)
 
     def is_over(self, segment: Segment, now: float) -> bool:
@@ -187,7 +198,8 @@
         window = state.settings.datagram_seconds
         lost = state.ranking.lost_lately(window, now) > 0
         suspect = packet.passing.suspect or lost
-        passing = Passing(stage, hops + 1, None, origin, suspect)
+        doubted = packet.passing.binding
+        passing = Passing(stage, hops + 1, doubted, origin, suspect)
         vm = target if target is not None else origin
         state.out.append(SendToPeer(vm, passing, packet.segment.packet))
 
