--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -47,4 +47,5 @@
             return age < self.state.settings.learned_fresh_seconds
         if not segment.flags & FLAG_ACK:
             return False
-        return not self.is_far(slot, segment, WIDE_BYTES)
+        opening = table.statuses[slot] == FlowStatus.HALF_OPEN
+        return not self.is_far(slot, segment, NEAR_BYTES if opening else WIDE_BYTES)
