--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -229,10 +229,11 @@
     def is_doubtful(self, slot: int, segment: Segment, now: float) -> bool:
         """Return whether a packet may be of a handshake with another server.
 
-        Without any answer of the server seen here, that is given up after two searches.
+        Without any answer of the server seen here, that is given up after two searches,
+        but not while a cut may hide the other record.
         """
         seen = self.state.table.marks[slot] & Mark.SERVER_SEEN
-        return bool(seen) or not self.missed_twice(segment, now)
+        return bool(seen) or self.unsettled(now) or not self.missed_twice(segment, now)
 
     def confirmed_by_search(self, slot: int, segment: Segment, now: float) -> None:
         """Go on with a record whose server another VM names too.
