--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
@@ -22,6 +23,7 @@
 RECORD_BYTES = 56
 BATCH_BYTES = 24
 BURST_SECONDS = 1.0
+WAITING_LIMIT = 20_000
 
 
 class SentBatch(NamedTuple):
@@ -54,6 +56,8 @@
         self.number = 0
         self.sent: dict[int, SentBatch] = {}
         self.open: dict[VmId, list[FlowRecord]] = {}
+        self.line: deque[int] = deque()
+        self.waiting: set[int] = set()
 
     def refill(self, elapsed: float) -> None:
         """Add to the budget what the time allows."""
@@ -69,6 +73,7 @@
     def collect(self, slot: int, vm: VmId, now: float) -> None:
         """Add a record to the batch for a VM, if the budget allows."""
         if self.bytes_left < RECORD_BYTES:
+            self.wait(slot)
             return
         batch = self.open.setdefault(vm, [])
         self.bytes_left -= RECORD_BYTES + (0 if batch else BATCH_BYTES)
@@ -76,6 +81,20 @@
         if len(batch) >= self.state.settings.batch_records:
             self.flush(vm, now)
 
+    def wait(self, slot: int) -> None:
+        """Remember a slot whose record the budget does not allow yet."""
+        if slot not in self.waiting and len(self.waiting) < WAITING_LIMIT:
+            self.waiting.add(slot)
+            self.line.append(slot)
+
+    def next_waiting(self) -> int | None:
+        """Return the slot that has waited longest, if the budget allows its record."""
+        if not self.line or self.bytes_left < RECORD_BYTES:
+            return None
+        slot = self.line.popleft()
+        self.waiting.discard(slot)
+        return slot
+
     def record(self, slot: int, now: float) -> FlowRecord:
         """Return a record as it travels in a batch."""
         state = self.state
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -48,11 +48,19 @@
         self.refill(elapsed)
         self.end_graces(now)
         self.batches.end_batches(now)
+        self.serve_waiting(now)
         for _ in range(self.share(elapsed)):
             self.step(now)
         self.batches.flush_all(now)
         self.tell_quiet(now)
 
+    def serve_waiting(self, now: float) -> None:
+        """Look again at slots that the budget made wait."""
+        while (slot := self.batches.next_waiting()) is not None:
+            key = self.state.table.keys[slot]
+            if key is not None:
+                self.visit(slot, key, now)
+
     def refill(self, elapsed: float) -> None:
         """Add to the budgets what the time allows."""
         self.batches.refill(elapsed)
--- /dev/null
+++ b/libs/flows/tests/test_matters.py
@@ -0,0 +1,250 @@
+"""One table or case for each matter of the flow engine."""
+
+from __future__ import annotations
+
+import importlib.util
+import random
+from pathlib import Path
+
+import pytest
+
+from kumquatmux_core.identity import FlowKey, VmId
+from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
+from kumquatmux_flows.events import (
+    Action,
+    Binding,
+    CallerPacket,
+    Dropped,
+    FlowPlaced,
+    Leaving,
+    Passing,
+    PeerMessage,
+    PeerPacket,
+    Quiet,
+    ResetCaller,
+    SendMessage,
+    SendToPeer,
+    SendToServer,
+    ServerPacket,
+    Stage,
+    Tick,
+    ViewChanged,
+)
+from kumquatmux_flows.messages import FLOW_MESSAGES, BatchStored, RecordBatch
+from kumquatmux_flows.refusals import Refusal
+from kumquatmux_flows.settings import FlowSettings
+from kumquatmux_flows.table import Role
+
+_spec = importlib.util.spec_from_file_location(
+    "engine_cases", Path(__file__).with_name("test_engine.py")
+)
+assert _spec is not None and _spec.loader is not None
+cases = importlib.util.module_from_spec(_spec)
+_spec.loader.exec_module(cases)
+SERVER, SECOND, SETTLED = cases.SERVER, cases.SECOND, cases.SETTLED
+
+
+def send(made, key: FlowKey, now: float, **fields) -> list[Action]:
+    return made.handle(CallerPacket(cases.segment(key, **fields)), now)
+
+
+def tick_for(made, start: float, seconds: float) -> list[Action]:
+    steps = int(seconds * 10)
+    return [
+        action
+        for step in range(1, steps + 1)
+        for action in made.handle(Tick(), start + step / 10)
+    ]
+
+
+def owned_key(made, protocol: int = 6) -> FlowKey:
+    keys = (cases.key_of(port, protocol) for port in range(99))
+    return next(key for key in keys if cases.owns(made, key))
+
+
+@pytest.mark.parametrize(
+    ("after", "flags", "expected"),
+    [
+        (0.1, FLAG_SYN, Dropped(Refusal.QUARANTINED)),
+        (9.9, FLAG_SYN, Dropped(Refusal.QUARANTINED)),
+        (0.1, FLAG_ACK, SendToServer(SERVER, b"packet")),
+    ],
+)
+def test_a_closed_key_stays_with_its_server(after, flags, expected) -> None:
+    made = cases.engine()
+    key = cases.key_of(1)
+    cases.open_flow(made, key)
+    send(made, key, SETTLED, flags=FLAG_RST, seq=100)
+    assert send(made, key, SETTLED + after, flags=flags, seq=7_000) == [expected]
+
+
+def test_a_closed_key_is_placed_anew_after_quarantine() -> None:
+    made = cases.engine()
+    key = cases.key_of(1)
+    cases.open_flow(made, key)
+    fin = cases.segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
+    send(made, key, SETTLED, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
+    made.handle(ServerPacket(fin, SERVER), SETTLED)
+    later = SETTLED + 11
+    assert cases.kinds(send(made, key, later, flags=FLAG_SYN, seq=1)) == [
+        "AskPlacement"
+    ]
+    made.handle(FlowPlaced(key, SECOND), later)
+    slot = made.state.table.slots[key]
+    assert made.state.table.epochs[slot] == 2
+
+
+def test_a_full_table_refuses_new_flows_and_keeps_open_ones() -> None:
+    made = cases.engine(settings=FlowSettings(flow_limit=1))
+    first, second = cases.key_of(1), cases.key_of(2)
+    cases.open_flow(made, first)
+    refused = send(made, second, SETTLED, flags=FLAG_SYN, seq=9)
+    assert [action.reason for action in refused] == [Refusal.TABLE_FULL]
+    assert made.route_caller(first, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
+
+
+def test_learned_records_are_bounded_and_spare_owned_ones() -> None:
+    made = cases.engine(settings=FlowSettings(learned_limit=3))
+    cases.open_flow(made, cases.key_of(1))
+    for port in range(2, 12):
+        reply = cases.segment(cases.key_of(port), seq=5, ack=6, length=7)
+        made.handle(ServerPacket(reply, SERVER), SETTLED)
+    counts = made.state.table.counts
+    assert (counts[Role.LEARNED], counts[Role.OWNER]) == (3, 1)
+    assert cases.key_of(11) in made.state.table.slots
+
+
+@pytest.mark.parametrize(
+    ("lost", "suspect", "expected"),
+    [
+        ((), False, "AskPlacement"),
+        (("b",), False, "ResetCaller"),
+        ((), True, "ResetCaller"),
+    ],
+)
+def test_an_unknown_datagram_is_not_guessed_after_a_loss(
+    lost, suspect, expected
+) -> None:
+    made = cases.engine()
+    made.handle(ViewChanged(cases.vms("a", "c"), tuple(map(VmId, lost))), SETTLED)
+    key = owned_key(made, protocol=17)
+    [search] = send(made, key, SETTLED + 1, flags=0, length=9)
+    assert isinstance(search, SendToPeer)
+    assert search.passing.stage == Stage.LOOKUP
+    miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
+    datagram = cases.segment(key, flags=0, length=9)
+    answer = made.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED + 1)
+    assert cases.kinds(answer) == [expected]
+
+
+def test_an_unknown_connection_is_reset_after_two_misses() -> None:
+    made = cases.engine()
+    key = cases.key_of(1)
+    outcomes = [
+        send(made, key, SETTLED + after, seq=5, ack=6) for after in (0.0, 1.0, 3.5)
+    ]
+    assert outcomes[:2] == [[Dropped(Refusal.UNSETTLED)]] * 2
+    assert isinstance(outcomes[2][0], ResetCaller)
+
+
+@pytest.mark.parametrize(
+    ("here", "there", "server"),
+    [
+        (Binding(SERVER, 1, 1), Binding(SECOND, 1, 2), SECOND),
+        (Binding(SERVER, 1, 2), Binding(SECOND, 1, 1), SERVER),
+        (Binding(SERVER, 1, 1), Binding(SECOND, 1, 1, True), SECOND),
+        (Binding(SERVER, 1, 1, True), Binding(SECOND, 1, 1), SERVER),
+        (Binding(SERVER, 1, 1), Binding(SECOND, 1, 1), min(SERVER, SECOND)),
+        (Binding(SECOND, 1, 1), Binding(SERVER, 1, 1), min(SERVER, SECOND)),
+    ],
+)
+def test_one_of_two_bindings_wins(here, there, server) -> None:
+    made = cases.engine()
+    key = cases.key_of(1)
+    first = cases.segment(key, FLAG_SYN, seq=99)
+    for binding in (here, there):
+        store = Passing(Stage.STORE, 0, binding)
+        made.handle(PeerPacket(VmId("b"), store, first), SETTLED)
+    assert made.state.address_of(made.state.table.slots[key]) == server
+
+
+def test_silent_flows_get_their_second_copy_within_the_budget() -> None:
+    made = cases.engine(settings=FlowSettings(repair_bytes_per_second=500.0))
+    for port in range(60):
+        cases.open_flow(made, cases.key_of(port))
+    made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
+    made.state.ranking.ranks = {
+        place: [VmId("a"), VmId("b")] for place in made.state.ranking.ranks
+    }
+    batches = []
+    for step in range(1, 101):
+        now = SETTLED + 3 + step / 10
+        for action in made.handle(Tick(), now):
+            if isinstance(action, SendMessage):
+                batches.append(action.message)
+                stored = BatchStored(action.message.number)
+                made.handle(PeerMessage(action.vm, stored), now)
+    sizes = [len(FLOW_MESSAGES.encode(batch)) for batch in batches]
+    assert sum(sizes) <= 500 * 10 + 500
+    keys = [record.key for batch in batches for record in batch.records]
+    assert len(keys) == len(set(keys)) == 60
+
+
+def test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere() -> None:
+    made = cases.engine()
+    cases.open_flow(made, cases.key_of(1))
+    made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
+    made.handle(Leaving(), SETTLED)
+    unconfirmed = tick_for(made, SETTLED, 20.0)
+    assert not any(isinstance(action, Quiet) for action in unconfirmed)
+    made.state.table.copies[0] = 0
+    batch = made.sweep.batches.sent
+    for step in range(300):
+        now = SETTLED + 20 + step / 10
+        actions = made.handle(Tick(), now)
+        for number in list(batch):
+            made.handle(PeerMessage(VmId("b"), BatchStored(number)), now)
+        if any(isinstance(action, Quiet) for action in actions):
+            return
+    raise AssertionError("never quiet")
+
+
+@pytest.mark.parametrize(("protocol", "status_seconds"), [(6, 14_400.0), (17, 30.0)])
+def test_idle_flows_expire_by_protocol(protocol: int, status_seconds: float) -> None:
+    settings = FlowSettings(sweep_seconds=0.1, probes_per_second=0.0)
+    made = cases.engine(settings=settings)
+    key = cases.key_of(1, protocol)
+    if protocol == 6:
+        cases.open_flow(made, key)
+    else:
+        send(made, key, SETTLED, flags=0, length=4)
+        made.handle(FlowPlaced(key, SERVER), SETTLED)
+    tick_for(made, SETTLED + status_seconds - 3, 2.0)
+    assert key in made.state.table.slots
+    tick_for(made, SETTLED + status_seconds, 2.0)
+    assert key not in made.state.table.slots
+
+
+def test_batches_survive_the_codec() -> None:
+    made = cases.engine()
+    cases.open_flow(made, cases.key_of(1))
+    record = made.sweep.batches.record(made.state.table.slots[cases.key_of(1)], SETTLED)
+    batch = RecordBatch(1, (record,))
+    assert FLOW_MESSAGES.decode(FLOW_MESSAGES.encode(batch)).ok == batch
+
+
+def test_fast_path_agrees_with_the_slow_path() -> None:
+    draw = random.Random(5)
+    for _ in range(300):
+        fields = (draw.choice((100, 90, 150)), draw.choice((500, 9)), draw.randrange(2))
+        fast, slow = cases.engine(), cases.engine()
+        key = cases.key_of(1)
+        for made in (fast, slow):
+            cases.open_flow(made, key)
+        server = fast.route_caller(
+            key, FLAG_ACK, fields[0], fields[1], fields[2], 101.0
+        )
+        sent = send(slow, key, 101.0, seq=fields[0], ack=fields[1], length=fields[2])
+        if server is not None:
+            assert SendToServer(SERVER, b"packet") in sent
+            assert fast.drain() == [a for a in sent if not isinstance(a, SendToServer)]
