Give the laboratory a command line with soak and bench

Cause: the seeded fault runs and the benches had no common way to be run, and their figures were kept without seed, command and machine. Change: kumquatmux-lab soak spreads seeded runs over worker processes, counts faults by kind and prints the command that repeats a failing seed; bench records what a bench prints with the numbers of each line; make soak and make bench call them.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
 SEED ?= 1
 RUNS ?= 2000
+WHAT ?= all
+BENCHES ?= agreement membership storage
 
 .PHONY: setup demo test lint types format check bench soak trial docs clean
 
@@ -36,5 +38,13 @@
 
 check: lint types test
 
+# Recorded benches take minutes; they write to docs/measurements.
+bench: setup
+	$(foreach name,$(BENCHES),$(BIN)/kumquatmux-lab bench $(name) --seed $(SEED) --out docs/measurements/$(name)-bench.json &&) true
+	$(BIN)/python -m kumquatmux_lab.benches.placement --seeds $(SEED) --out docs/measurements/placement-bench
+
+soak: setup
+	$(BIN)/kumquatmux-lab soak --seed $(SEED) --runs $(RUNS) --what $(WHAT)
+
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/libs/lab/tests/test_bench.py
@@ -0,0 +1,23 @@
+from __future__ import annotations
+
+import pytest
+
+from kumquatmux_lab.bench import BenchSettings, row_of, run_bench
+
+
+@pytest.mark.parametrize(
+    ("line", "figures"),
+    [
+        ("| 3 | 1.250 | 16_000 |", [3.0, 1.25, 16000.0]),
+        ("leases 1,000: 2.5e-3 s", [1000.0, 0.0025]),
+        ("p99 of vm2: -4", [-4.0]),
+        ("no figures", []),
+    ],
+)
+def test_numbers_of_a_line(line, figures):
+    assert row_of(line)["figures"] == figures
+
+
+@pytest.mark.parametrize("name", ["weather", "no.such", "../flows"])
+def test_unknown_bench_is_a_problem(name):
+    assert run_bench(BenchSettings(name, 1)).error.code == "unknown-bench"
