--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -64,10 +64,10 @@
     repair_bytes_per_second: float = 2_000.0
     batch_records: int = 32
     batch_timeout_seconds: float = 1.0
-    probe_idle_seconds: float = 60.0
-    probe_interval_seconds: float = 10.0
-    probe_limit: int = 4
-    probes_per_second: float = 50.0
+    probe_idle_seconds: float = 30.0
+    probe_interval_seconds: float = 5.0
+    probe_limit: int = 3
+    probes_per_second: float = 200.0
     silent_retransmits: int = 4
     silent_seconds: float = 6.0
     quiet_seconds: float = 3.0
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -34,12 +34,14 @@
     Attributes:
         witnesses: The flow each server number answered last.
         asked: Server numbers whose witness was probed and has not answered.
+        suspects: When each flow that was probed is to be probed again, in seconds.
     """
 
     def __init__(self, state: FlowState) -> None:
         self.state = state
         self.witnesses: dict[int, FlowKey] = {}
         self.asked: set[int] = set()
+        self.suspects: dict[FlowKey, float] = {}
 
     def answered(self, slot: int, ack: int, now: float) -> None:
         """Note a reply: it ends the silence if it acknowledges all, or more."""
@@ -79,19 +81,37 @@
         table = state.table
         server = table.servers[slot]
         key = self.witnesses.get(server)
-        other = None if key is None else table.slots.get(key)
+        other = self.witness_slot(server)
         if key is None or other is None or other == slot or state.probes_left < 1.0:
             return
-        if table.roles[other] != Role.OWNER or table.servers[other] != server:
-            return
-        if table.statuses[other] != FlowStatus.ESTABLISHED:
-            return
         state.probes_left -= 1.0
         self.asked.add(server)
         seq = table.server_acks[other] - 1 & SEQUENCE_MASK
         ack = table.server_nexts[other]
         state.out.append(ProbeServer(key, state.address_of(other), seq, ack))
 
+    def witness_slot(self, server: int) -> int | None:
+        """Return the slot of a server's witness, None if it can be none any more."""
+        table = self.state.table
+        key = self.witnesses.get(server)
+        slot = None if key is None else table.slots.get(key)
+        if slot is None or table.servers[slot] != server:
+            return None
+        if table.roles[slot] != Role.OWNER:
+            return None
+        return slot if table.statuses[slot] == FlowStatus.ESTABLISHED else None
+
+    def offer_witness(self, slot: int, key: FlowKey, now: float) -> None:
+        """Let a flow that hears its server be the witness if there is no good one."""
+        table = self.state.table
+        if table.statuses[slot] != FlowStatus.ESTABLISHED or table.strikes[slot]:
+            return
+        if now - table.reply_times[slot] > self.state.settings.probe_idle_seconds:
+            return
+        witness = self.witness_slot(table.servers[slot])
+        if witness is None or table.strikes[witness]:
+            self.witnesses[table.servers[slot]] = key
+
     def strike(self, slot: int, gap: float, now: float) -> None:
         """Note a retransmission or probe, at most one in a gap of seconds."""
         state = self.state
@@ -144,6 +164,18 @@
             self.end(slot, Refusal.SILENT, now)
             return
         self.send_probes(slot, key)
+        self.suspects[key] = now + settings.probe_interval_seconds
+
+    def ask_suspects(self, now: float) -> None:
+        """Probe again, without waiting for the sweep, what has not answered."""
+        table = self.state.table
+        for key in [key for key, due in self.suspects.items() if due < now]:
+            del self.suspects[key]
+            slot = table.slots.get(key)
+            if slot is None or table.roles[slot] != Role.OWNER:
+                continue
+            if table.strikes[slot]:
+                self.probe(slot, key, now)
 
     def send_probes(self, slot: int, key: FlowKey) -> None:
         """Send one keepalive probe to each end whose numbers are known.
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -49,6 +49,7 @@
         self.end_graces(now)
         self.batches.end_batches(now)
         self.serve_waiting(now)
+        self.silence.ask_suspects(now)
         for _ in range(self.share(elapsed)):
             self.step(now)
         self.batches.flush_all(now)
@@ -143,6 +144,7 @@
         if table.roles[slot] == Role.COPY:
             state.adopt(slot, "owner-gone")
         self.repair(slot, now)
+        self.silence.offer_witness(slot, key, now)
         self.silence.probe(slot, key, now)
 
     def is_orphan(self, slot: int, place: bytes, now: float) -> bool:
--- a/libs/settings/src/kumquatmux_settings/schema.py
+++ b/libs/settings/src/kumquatmux_settings/schema.py
@@ -131,12 +131,12 @@
             "quarantine_seconds", 10.0, 1.0, 600.0, "s", "Rest of a key after closing."
         ),
         Fraction(
-            "probe_idle_seconds", 60.0, 1.0, 86_400.0, "s", "Idle time until a probe."
+            "probe_idle_seconds", 30.0, 1.0, 86_400.0, "s", "Idle time until a probe."
         ),
         Fraction(
-            "probe_interval_seconds", 10.0, 1.0, 3600.0, "s", "Time between probes."
+            "probe_interval_seconds", 5.0, 1.0, 3600.0, "s", "Time between probes."
         ),
-        Whole("probe_limit", 4, 1, 100, "", "Unanswered probes of a silent flow."),
+        Whole("probe_limit", 3, 1, 100, "", "Unanswered probes of a silent flow."),
         Fraction(
             "silent_seconds", 6.0, 1.0, 600.0, "s", "Time without progress: silent."
         ),
