Refuse to record a bench that prints nothing

Cause: benches.packets has no entry point, so its record would be empty and look well. Change: a bench without a printed line is a problem, in one line. Measured: a test with a silent module.

--- a/libs/lab/src/kumquatmux_lab/bench.py
+++ b/libs/lab/src/kumquatmux_lab/bench.py
@@ -61,6 +61,9 @@
     if done.returncode:
         last = (done.stderr.strip().splitlines() or ["no reason given"])[-1]
         return Error(Problem("bench-failed", last, settings.name))
+    rows = [row_of(line) for line in done.stdout.splitlines() if line.strip()]
+    if not rows:
+        return Error(Problem("bench-silent", "printed no figures", settings.name))
     return Ok(
         BenchResult(
             bench=settings.name,
@@ -68,7 +71,7 @@
             command=shlex.join(["python", *arguments]),
             date=datetime.datetime.now(datetime.UTC).date().isoformat(),
             machine=this_machine(),
-            rows=[row_of(line) for line in done.stdout.splitlines() if line.strip()],
+            rows=rows,
         )
     )
 
--- a/libs/lab/tests/test_bench.py
+++ b/libs/lab/tests/test_bench.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from kumquatmux_lab import bench
 from kumquatmux_lab.bench import BenchSettings, row_of, run_bench
 
 
@@ -21,3 +22,8 @@
 @pytest.mark.parametrize("name", ["weather", "no.such", "../flows"])
 def test_unknown_bench_is_a_problem(name):
     assert run_bench(BenchSettings(name, 1)).error.code == "unknown-bench"
+
+
+def test_bench_that_prints_nothing_is_a_problem(monkeypatch):
+    monkeypatch.setattr(bench, "MODULE_PREFIX", "kumquatmux_lab.")
+    assert run_bench(BenchSettings("machine", 1)).error.code == "bench-silent"
