Let a placer that loses its service forget the work it counted

A VM that had owned the service during one cut kept the slots of work whose answers passed the next owner; when it owned the service again they were still taken, for up to 60 s. Ruled out: stale leases, whose servers were ready. Change: a VM stands down from a service it no longer owns.

--- a/libs/daemons/src/kumquatmux_daemons/entry/admission_desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/admission_desk.py
@@ -64,7 +64,11 @@
         self.digests[service] = digest
 
     def take_over(self, owned: frozenset[ServiceName], now: float) -> None:
-        """Become the placer of some services, with what their last placer told."""
+        """Become the placer of these services, with what their last placer told."""
+        for service in sorted(self.owned - owned):
+            admission = self.admissions.get(service)
+            if admission is not None:
+                admission.stand_down(service, now)
         for service in sorted(owned - self.owned):
             digest = self.digests.pop(service, ())
             admission = self.admissions.get(service)
--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -103,6 +103,17 @@
             if load is not None:
                 load.assume(entry, self.now)
 
+    def stand_down(self, service: ServiceName, now: float) -> None:
+        """Forget the work of a service that another VM places from now on.
+
+        Its answers no longer pass here, so that its slots would never be freed.
+        """
+        self.now = max(now, self.now)
+        for work_id, flow in list(self.flows.items()):
+            if flow.load.service == service:
+                self.finish(work_id, flow, answered=False)
+                self.forget(work_id, flow)
+
     def pool(self, service: ServiceName) -> Pool:
         """Return what is known about a service."""
         if service not in self.pools:
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -124,3 +124,13 @@
     made = admission(server(1, since=0.0), server(2), warm_ms=10_000.0)
     placed = [made.handle(Submit(work(name)), 1.0)[0].server for name in (b"a", b"b")]
     assert placed == [server(2).server, server(1).server]
+
+
+def test_a_placer_that_stands_down_counts_nothing_of_the_old_work():
+    made = admission(reserve_ms=60_000.0)
+    [placed] = made.handle(Submit(work(b"a")), 0.0)
+    made.handle(Started(b"a", placed.server), 0.1)
+    made.stand_down(SERVICE, 0.2)
+    [again] = made.handle(Submit(work(b"b")), 0.3)
+    assert isinstance(again, Placed)
+    assert made.digest(SERVICE)[0].connections == 1
