Free a restored slot by the age of its digest

Cause: a successor counted slots as taken whose work had ended in the outage. Change: restore takes the age of the digest.

--- a/libs/lab/src/kumquatmux_lab/queueing/takeover.py
+++ b/libs/lab/src/kumquatmux_lab/queueing/takeover.py
@@ -42,6 +42,7 @@
         self.loss = loss
         self.lost = False
         self.digest: tuple[SlotDigest, ...] = ()
+        self.told_at = 0.0
         self.decided: set[bytes] = set()
         self.clock.at(loss.at_s, self.lose)
         if loss.digest_period_s > 0:
@@ -53,6 +54,7 @@
             return
         assert isinstance(self.policy, Admission)
         self.digest = self.policy.digest(SERVICE)
+        self.told_at = self.clock.now
         self.clock.at(self.clock.now + self.loss.digest_period_s, self.send_digest)
 
     def lose(self) -> None:
@@ -79,7 +81,8 @@
             for job in backend.open_jobs():
                 server = ServerId(backend.machine.server)
                 self.tell(Adopted(job.work_id, SERVICE, server))
-        self.policy.restore(self.digest, self.clock.now)
+        age_s = self.clock.now - self.told_at
+        self.policy.restore(self.digest, self.clock.now, age_s=age_s)
 
     def tell(self, event: Event) -> None:
         """Give an event to the placer; without one, first packets are resent."""
--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -95,13 +95,21 @@
         pool.expire(self.now)
         return tuple(load.digest(self.now) for load in pool.loads.values())
 
-    def restore(self, digest: tuple[SlotDigest, ...], now: float) -> None:
-        """Count the slots a lost placer had given until its flows are seen."""
+    def restore(
+        self, digest: tuple[SlotDigest, ...], now: float, *, age_s: float = 0.0
+    ) -> None:
+        """Count the slots a lost placer had given until their work must be over.
+
+        Args:
+            digest: What the lost placer told last, after ``ServersChanged``.
+            now: The time, in seconds.
+            age_s: How long ago it was told, in seconds.
+        """
         self.now = max(now, self.now)
         for entry in digest:
             load = self.servers.get(entry.server)
             if load is not None:
-                load.assume(entry, self.now)
+                load.assume(entry, self.now - age_s)
 
     def stand_down(self, service: ServiceName, now: float) -> None:
         """Forget the work of a service that another VM places from now on.
--- a/libs/placement/src/kumquatmux_placement/backend.py
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -186,10 +186,10 @@
             self.server.server, self.taken, self.long(now), self.connections
         )
 
-    def assume(self, digest: SlotDigest, now: float) -> None:
-        """Count the slots that a lost placer had given."""
-        short_until = now + self.settings.assumed_ms / 1000.0
-        long_until = now + self.settings.assumed_long_ms / 1000.0
+    def assume(self, digest: SlotDigest, told: float) -> None:
+        """Count the slots that a lost placer had given when it told of them."""
+        short_until = told + self.settings.assumed_ms / 1000.0
+        long_until = told + self.settings.assumed_long_ms / 1000.0
         known = len(self.reserved) + len(self.running)
         short = max(digest.busy - digest.long - known, 0)
         self.assumed = [short_until] * short + [long_until] * digest.long
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -16,6 +16,8 @@
     Server,
     ServersChanged,
     ServerState,
+    SizeClass,
+    SlotDigest,
     Started,
     Submit,
     Tick,
@@ -134,3 +136,25 @@
     [again] = made.handle(Submit(work(b"b")), 0.3)
     assert isinstance(again, Placed)
     assert made.digest(SERVICE)[0].connections == 1
+
+
+@pytest.mark.parametrize(
+    ("age_s", "free_at"), [(0.0, 10.2), (0.15, 10.05), (0.5, 10.0)]
+)
+def test_a_restored_slot_frees_by_the_age_of_the_digest(age_s, free_at):
+    made = admission(assumed_ms=200.0)
+    digest = (SlotDigest(server().server, busy=1, long=0, connections=1),)
+    made.restore(digest, 10.0, age_s=age_s)
+    [first] = made.handle(Submit(work(b"a")), 10.0)
+    if free_at > 10.0:
+        assert isinstance(first, Held)
+        assert made.next_deadline() == pytest.approx(free_at)
+        [first] = made.handle(Tick(), made.next_deadline())
+    assert isinstance(first, Placed)
+
+
+def test_a_digest_holds_what_was_placed():
+    made = admission(server(1, slots=2))
+    [placed] = made.handle(Submit(work(b"a", size=SizeClass.LONG)), 0.0)
+    made.handle(Started(b"a", placed.server), 0.0)
+    assert made.digest(SERVICE) == (SlotDigest(placed.server, 1, 1, 1),)
