--- a/libs/lab/src/kumquatmux_lab/benches/placement.py
+++ b/libs/lab/src/kumquatmux_lab/benches/placement.py
@@ -45,6 +45,7 @@
     *(scenarios.steady(load) for load in LOADS),
     *(scenarios.varied(load) for load in LOADS),
     *(scenarios.known(load) for load in LOADS[1:]),
+    scenarios.much_long(0.7),
     *(scenarios.named(load) for load in LOADS[1:]),
     scenarios.crest(),
     scenarios.crest(retries=3),
--- a/libs/lab/src/kumquatmux_lab/queueing/scenarios.py
+++ b/libs/lab/src/kumquatmux_lab/queueing/scenarios.py
@@ -31,6 +31,12 @@
     return Scenario(f"known-{load}", Workload(load=load, size_known=True), MACHINES)
 
 
+def much_long(load: float) -> Scenario:
+    """Return demand of known sizes with 5% of long work."""
+    workload = Workload(load=load, size_known=True, long_share=0.05)
+    return Scenario(f"much-long-{load}", workload, MACHINES)
+
+
 def named(load: float) -> Scenario:
     """Return steady demand whose long work comes from a few callers."""
     return Scenario(f"named-{load}", Workload(load=load, callers=200), MACHINES)
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from kumquatmux_core import decisions
 from kumquatmux_core.identity import ServerId, ServiceName, ZoneName
 from kumquatmux_placement.admission import Admission
 from kumquatmux_placement.events import (
     Answered,
+    Cancel,
     Closed,
     Held,
     LoadReported,
@@ -16,11 +18,13 @@
     Server,
     ServersChanged,
     ServerState,
+    Shed,
     SizeClass,
     SlotDigest,
     Started,
     Submit,
     Tick,
+    Unknown,
     Work,
 )
 from kumquatmux_placement.settings import PlacementSettings
@@ -158,3 +162,128 @@
     [placed] = made.handle(Submit(work(b"a", size=SizeClass.LONG)), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     assert made.digest(SERVICE) == (SlotDigest(placed.server, 1, 1, 1),)
+
+
+def test_short_work_is_placed_before_long():
+    made = admission(server(1), server(2))
+    placed = [made.handle(Submit(work(name)), 0.0)[0] for name in (b"a", b"b")]
+    made.handle(Submit(work(b"c", size=SizeClass.LONG)), 0.1)
+    made.handle(Submit(work(b"d")), 0.2)
+    [first] = made.handle(Closed(b"a", placed[0].server), 0.3)
+    [second] = made.handle(Closed(b"b", placed[1].server), 0.4)
+    assert [first.work_id, second.work_id] == [b"d", b"c"]
+
+
+def test_long_work_leaves_one_servers_slots_clear():
+    made = admission(server(1, slots=2), server(2, slots=2))
+    outcomes = [
+        made.handle(Submit(work(bytes([number]), size=SizeClass.LONG)), 0.0)[0]
+        for number in range(3)
+    ]
+    assert [type(outcome) for outcome in outcomes] == [Placed, Placed, Held]
+    [short] = made.handle(Submit(work(b"s")), 0.0)
+    assert isinstance(short, Placed)
+
+
+def test_work_of_a_caller_known_for_long_work_is_expected_to_be_long():
+    made = admission(server(1, slots=3), long_ms=200.0)
+    [placed] = made.handle(Submit(work(b"a", caller="printer")), 0.0)
+    made.handle(Started(b"a", placed.server), 0.0)
+    made.handle(Answered(b"a", placed.server), 0.9)
+    history = made.pools[SERVICE].history
+    assert history.expect(work(b"b", caller="printer")) is SizeClass.LONG
+    assert history.expect(work(b"c", caller="other")) is SizeClass.UNKNOWN
+
+
+def test_feeds_hold_a_connection_and_no_slot():
+    made = admission(server(1, connections=2))
+    for number in range(2):
+        work_id = bytes([number])
+        [placed] = made.handle(Submit(work(work_id)), float(number))
+        made.handle(Started(work_id, placed.server), float(number))
+        made.handle(Answered(work_id, placed.server), number + 0.01)
+    [refused] = made.handle(Submit(work(b"c")), 3.0)
+    assert (refused.reason, made.servers[placed.server].taken) == ("no-server", 0)
+
+
+def test_later_work_on_a_bound_flow_takes_a_slot_beyond_the_servers():
+    made = admission(server(1, slots=1))
+    [placed] = made.handle(Submit(work(b"a")), 0.0)
+    made.handle(Started(b"a", placed.server), 0.0)
+    made.handle(Answered(b"a", placed.server), 0.1)
+    made.handle(Submit(work(b"b")), 0.2)
+    made.handle(Started(b"a", placed.server), 0.3)
+    assert made.servers[placed.server].taken == 2
+    assert isinstance(made.handle(Submit(work(b"c")), 0.4)[0], Held)
+    assert made.handle(Answered(b"a", placed.server), 0.5) == []
+
+
+def test_a_server_that_sheds_is_left_alone_for_longer_each_time():
+    made = admission(shed_backoff_ms=100.0, shed_backoff_limit_ms=300.0)
+    now = 0.0
+    for pause_s in (0.1, 0.2, 0.3):
+        [placed] = made.handle(Submit(work(bytes([int(now * 10)]))), now)
+        [unknown] = made.handle(Shed(placed.work_id, placed.server), now)
+        assert isinstance(unknown, Unknown)
+        assert isinstance(made.handle(Submit(work(b"x")), now)[0], Refused)
+        now += pause_s + 1e-6
+
+
+def test_retries_are_held_within_a_budget():
+    made = admission(retry_burst=2, retry_ratio=0.0)
+    made.handle(Submit(work(b"a")), 0.0)
+    outcomes = [
+        made.handle(Submit(work(bytes([number]), attempt=1)), 0.1)[0]
+        for number in range(3)
+    ]
+    assert [type(outcome) for outcome in outcomes] == [Held, Held, Refused]
+    assert outcomes[-1].reason == "retry-budget"
+
+
+ZONED = {"zone": ZoneName("cnx-a"), "link_cost_ms": 10.0}
+
+
+def test_work_spills_to_another_zone_once_waiting_costs_more_than_the_link():
+    far = server(2, zone=ZoneName("lpg-a"))
+    made = admission(server(1), far, **ZONED)
+    assert made.handle(Submit(work(b"a")), 0.0)[0].server == server(1).server
+    assert isinstance(made.handle(Submit(work(b"b")), 0.0)[0], Held)
+    assert made.next_deadline() == pytest.approx(0.01)
+    [spilled] = made.handle(Tick(), made.next_deadline())
+    assert (spilled.server, spilled.reason) == (far.server, "spill")
+
+
+@pytest.mark.parametrize(
+    ("bind_ahead", "age_s", "placed"),
+    [
+        (True, 0.005, False),
+        (True, 0.02, True),
+        (True, 0.5, False),
+        (False, 0.02, False),
+    ],
+)
+def test_only_a_far_slot_about_to_be_answered_is_given_again(bind_ahead, age_s, placed):
+    far = server(2, zone=ZoneName("lpg-a"))
+    made = admission(far, bind_ahead=bind_ahead, **ZONED)
+    made.pools[SERVICE].history.mean_s = 0.02
+    made.handle(Submit(work(b"a")), 0.0)
+    made.handle(Started(b"a", far.server), 0.0)
+    [outcome] = made.handle(Submit(work(b"b")), age_s)
+    assert isinstance(outcome, Placed) is placed
+    [third] = made.handle(Submit(work(b"c")), age_s)
+    assert isinstance(third, Held)
+
+
+def test_every_outcome_writes_one_decision_line(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        decisions, "log", lambda event, **fields: lines.append((event, fields))
+    )
+    made = admission(revision=7)
+    made.handle(Submit(work(b"a")), 0.0)
+    made.handle(Submit(work(b"b")), 0.0)
+    made.handle(Cancel(b"b"), 0.1)
+    assert [event for event, _ in lines] == ["placed", "held", "cancelled"]
+    fields = lines[0][1]
+    assert (fields["server"], fields["reason"]) == (server().server, "free-slot")
+    assert (fields["candidates"], fields["revision"]) == (1, 7)
