--- a/libs/lab/src/kumquatmux_lab/benches/placement.py
+++ b/libs/lab/src/kumquatmux_lab/benches/placement.py
@@ -46,6 +46,7 @@
     *(scenarios.varied(load) for load in LOADS),
     *(scenarios.known(load) for load in LOADS[1:]),
     scenarios.much_long(0.7),
+    scenarios.all_long(0.5),
     *(scenarios.named(load) for load in LOADS[1:]),
     scenarios.crest(),
     scenarios.crest(retries=3),
--- a/libs/lab/src/kumquatmux_lab/queueing/scenarios.py
+++ b/libs/lab/src/kumquatmux_lab/queueing/scenarios.py
@@ -37,6 +37,14 @@
     return Scenario(f"much-long-{load}", workload, MACHINES)
 
 
+def all_long(load: float) -> Scenario:
+    """Return three servers that run nothing but long work, of known size."""
+    workload = Workload(
+        load=load, slots=6, short_s=1.0, long_share=1.0, size_known=True
+    )
+    return Scenario(f"all-long-{load}", workload, MACHINES[:3])
+
+
 def named(load: float) -> Scenario:
     """Return steady demand whose long work comes from a few callers."""
     return Scenario(f"named-{load}", Workload(load=load, callers=200), MACHINES)
--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -299,6 +299,8 @@
         flow = Flow(choice.load, work.caller, waiting.size, work.repeatable)
         self.bind(work.work_id, flow)
         choice.load.reserve(work.work_id, flow, self.now)
+        if waiting.size is not SizeClass.LONG:
+            self.pool(work.service).note_short(self.now)
         return Placed(
             work.work_id,
             work.service,
--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -10,6 +10,7 @@
 from kumquatmux_placement.choice import Choice, choose, is_near
 from kumquatmux_placement.events import Server, ServerState, SizeClass
 from kumquatmux_placement.history import SizeHistory
+from kumquatmux_placement.peak import RecentPeak
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.waiting import Waiting, WaitingLine
 
@@ -23,6 +24,7 @@
         line: Work held until a slot frees.
         history: What callers' earlier work says about the next.
         budget: What retries may still be held.
+        short_peak: Most short work in progress in the recent past.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         self.line = WaitingLine(settings)
         self.history = SizeHistory(settings)
         self.budget = RetryBudget(settings)
+        self.short_peak = RecentPeak(settings.clear_memory_ms / 1000.0)
 
     def use_settings(self, settings: PlacementSettings) -> None:
         """Bring other settings into force for everything known here."""
@@ -80,19 +83,24 @@
             may_spill=self.may_spill(since, now),
         )
 
+    def note_short(self, now: float) -> None:
+        """Remember how much short work is in progress."""
+        loads = self.loads.values()
+        self.short_peak.note(sum(load.taken - load.long(now) for load in loads), now)
+
     def has_room_for_long(self, now: float) -> bool:
         """Return whether one more piece of long work leaves enough slots clear."""
         ready = [load for load in self.loads.values() if load.is_open(now)]
         slots = sum(load.server.slots for load in ready)
         largest = max((load.server.slots for load in ready), default=0)
-        clear = largest * self.settings.clear_servers
         long = sum(load.long(now) for load in self.loads.values())
+        clear = min(largest * self.settings.clear_servers, self.short_peak.value(now))
         return long < max(slots - clear, 1)
 
     def may_spill(self, since: float, now: float) -> bool:
         """Return whether waiting for a near slot costs more than the link."""
         link_s = self.settings.link_cost_ms / 1000.0
-        if now - since >= link_s:
+        if now >= since + link_s:
             return True
         slots = sum(
             load.server.slots
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -18,7 +18,9 @@
         crest_after_ms: After how long without an empty line that begins.
         queue_limit: Pieces of work held for one service at most.
         long_ms: Work that runs longer counts as long.
-        clear_servers: Servers whose worth of slots is kept clear of long work.
+        clear_servers: Servers whose worth of slots is kept clear of long work, if
+            short work needed that many of late.
+        clear_memory_ms: For how long slots stay clear after short work used them.
         warm_ms: For how long a new server is used last.
         shed_backoff_ms: First pause in placing after a server shed work.
         shed_backoff_limit_ms: Longest such pause.
@@ -46,7 +48,8 @@
     crest_after_ms: float = 1000.0
     queue_limit: int = 1000
     long_ms: float = 200.0
-    clear_servers: int = 1
+    clear_servers: int = 2
+    clear_memory_ms: float = 10_000.0
     warm_ms: float = 10_000.0
     shed_backoff_ms: float = 100.0
     shed_backoff_limit_ms: float = 5000.0
