--- a/libs/placement/src/kumquatmux_placement/backend.py
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -83,10 +83,8 @@
 
     def expire(self, now: float) -> None:
         """Free the slots of silent, stuck and assumed work."""
-        reserved_before = now - self.settings.reserve_ms / 1000.0
-        _drop_older(self.reserved, reserved_before)
-        running_before = now - self.settings.stuck_ms / 1000.0
-        _drop_older(self.running, running_before)
+        _drop_older(self.reserved, self.settings.reserve_ms, now)
+        _drop_older(self.running, self.settings.stuck_ms, now)
         while self.assumed and self.assumed[0] <= now:
             self.assumed.pop(0)
 
@@ -137,7 +135,8 @@
             return 0
         over = max(self.taken - self.server.slots, 0)
         ending = sum(
-            start_s <= now - flow.since <= end_s for flow in self.running.values()
+            flow.since + start_s <= now <= flow.since + end_s
+            for flow in self.running.values()
         )
         return max(ending - over, 0)
 
@@ -205,10 +204,10 @@
         return min((time for time in times if time > now), default=float("inf"))
 
 
-def _drop_older(flows: dict[bytes, Flow], before: float) -> None:
+def _drop_older(flows: dict[bytes, Flow], limit_ms: float, now: float) -> None:
     old = []
     for work_id, flow in flows.items():
-        if flow.since > before:
+        if flow.since + limit_ms / 1000.0 > now:
             break
         old.append(work_id)
     for work_id in old:
--- a/libs/placement/src/kumquatmux_placement/waiting.py
+++ b/libs/placement/src/kumquatmux_placement/waiting.py
@@ -81,13 +81,13 @@
 
     def hold_s(self, now: float) -> float:
         """Return for how long work is held at most at a time, in seconds."""
-        if now - self.standing_since >= self.settings.crest_after_ms / 1000.0:
+        if now >= self.standing_since + self.settings.crest_after_ms / 1000.0:
             return min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
         return self.settings.hold_ms / 1000.0
 
     def next_deadline(self) -> float:
         """Return when held work may next be refused, in seconds."""
-        crest_s = self.settings.crest_hold_ms / 1000.0
+        crest_s = min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
         crest_from = self.standing_since + self.settings.crest_after_ms / 1000.0
         oldest = min((first.since for first in self.firsts()), default=float("inf"))
         return min(self.next_own_deadline(), max(oldest + crest_s, crest_from))
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -175,7 +175,11 @@
 
 
 def test_long_work_leaves_one_servers_slots_clear():
-    made = admission(server(1, slots=2), server(2, slots=2))
+    made = admission(server(1, slots=2), server(2, slots=2), clear_servers=1)
+    for name in (b"x", b"y"):
+        [placed] = made.handle(Submit(work(name)), 0.0)
+    for name, flow in list(made.flows.items()):
+        made.handle(Closed(name, flow.load.server.server), 0.0)
     outcomes = [
         made.handle(Submit(work(bytes([number]), size=SizeClass.LONG)), 0.0)[0]
         for number in range(3)
@@ -287,3 +291,25 @@
     fields = lines[0][1]
     assert (fields["server"], fields["reason"]) == (server().server, "free-slot")
     assert (fields["candidates"], fields["revision"]) == (1, 7)
+
+
+def test_a_service_without_short_work_keeps_no_slot_clear():
+    made = admission(server(1, slots=2), server(2, slots=2))
+    outcomes = [
+        made.handle(Submit(work(bytes([number]), size=SizeClass.LONG)), 0.0)[0]
+        for number in range(4)
+    ]
+    assert all(isinstance(outcome, Placed) for outcome in outcomes)
+
+
+@pytest.mark.parametrize("number", range(200))
+def test_a_tick_at_the_next_deadline_never_leaves_it_due(number):
+    started = random.Random(number).uniform(0.0, 1000.0)
+    settings = {"crest_hold_ms": 100.0, "crest_after_ms": 1000.0, "hold_ms": 5000.0}
+    made = admission(**settings, reserve_ms=60_000.0)
+    made.handle(Submit(work(b"a")), started)
+    made.handle(Submit(work(b"b")), started)
+    due = made.next_deadline()
+    [refused] = made.handle(Tick(), due)
+    assert isinstance(refused, Refused)
+    assert made.next_deadline() > due
