--- a/libs/settings/src/kumquatmux_settings/schema.py
+++ b/libs/settings/src/kumquatmux_settings/schema.py
@@ -87,7 +87,7 @@
         Whole("hold_ms", 1000, 0, 60_000, "ms", "How long work waits for a slot."),
         Whole("queue_limit", 1000, 0, 1_000_000, "", "Work held for one service."),
         Whole("long_ms", 200, 1, 3_600_000, "ms", "Work that runs longer is long."),
-        Whole("clear_servers", 1, 0, 100, "", "Servers' worth of slots kept clear."),
+        Whole("clear_servers", 2, 0, 100, "", "Servers' worth of slots kept clear."),
         Whole("warm_ms", 10_000, 0, 600_000, "ms", "Slow start of a new server."),
         Whole("shed_backoff_ms", 100, 1, 60_000, "ms", "First pause after shedding."),
         Whole("shed_backoff_limit_ms", 5000, 1, 600_000, "ms", "Longest such pause."),
