--- a/libs/daemons/src/kumquatmux_daemons/entry/admission_desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/admission_desk.py
@@ -99,6 +99,12 @@
                 answers += self.translate(admission.handle(placement.Tick(), now))
         return answers
 
+    def holds_work(self) -> bool:
+        """Return whether any flow waits for a slot."""
+        return any(
+            pool.line for a in self.admissions.values() for pool in a.pools.values()
+        )
+
     def next_deadline(self) -> float:
         """Return when ``tick`` is next needed, in seconds; infinite if never."""
         deadlines = [a.next_deadline() for a in self.admissions.values()]
--- a/libs/daemons/src/kumquatmux_daemons/entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/daemon.py
@@ -33,7 +33,8 @@
 from kumquatmux_daemons.transport.registry import all_messages
 from kumquatmux_settings.node import NodeSettings
 
-TICK_S = 0.025
+TICK_S = 0.1
+HOLDING_TICK_S = 0.025
 GRACE_S = 30.0
 PACKET_KEY_BYTES = 32
 EXIT_OK = 0
@@ -154,7 +155,7 @@
     """Tell the node the time, until cancelled."""
     while True:
         node.on_tick(trio.current_time())
-        await trio.sleep(TICK_S)
+        await trio.sleep(HOLDING_TICK_S if node.desk.holds_work() else TICK_S)
 
 
 async def send_metrics(node: EntryNode, endpoint: Endpoint) -> None:
--- a/libs/daemons/src/kumquatmux_daemons/entry/node.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/node.py
@@ -43,7 +43,8 @@
 from kumquatmux_settings.messages import Message as SettingsMessage
 from kumquatmux_settings.tree import resolve
 
-DIGEST_PERIOD_S = 0.25
+DIGEST_PERIOD_S = 1.0
+ENGINES_PERIOD_S = 0.1
 FAILURES_KEPT = 10
 
 
@@ -107,6 +108,7 @@
         self.live: tuple[Vm, ...] = (parts.me,)
         self.is_quiet = False
         self.failures: deque[str] = deque(maxlen=FAILURES_KEPT)
+        self.engines_due = 0.0
         self.digest_due = 0.0
         self.last_answer: membership.LeaseAnswer | None = None
 
@@ -193,12 +195,19 @@
         self.desk.report(LoadReported(server, busy, open_, 0.0), now)
 
     def on_tick(self, now: float) -> None:
-        """Let every engine look at the time."""
+        """Let every engine that is due look at the time.
+
+        Held work is looked at each time, since a slot may be free; the other engines
+        keep times of hundreds of milliseconds.
+        """
+        for answer in self.desk.tick(now):
+            self.forwarder.run(answer, now)
+        if now < self.engines_due:
+            return
+        self.engines_due = now + ENGINES_PERIOD_S
         self.coordinate(membership.Tick(), now)
         self.settle(copy_events.Tick(), now)
         self.forwarder.run(flows.Tick(), now)
-        for answer in self.desk.tick(now):
-            self.forwarder.run(answer, now)
         if now >= self.digest_due:
             self.digest_due = now + DIGEST_PERIOD_S
             self.send_digests()
