--- a/libs/lab/tests/test_soak_findings.py
+++ b/libs/lab/tests/test_soak_findings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from kumquatmux_lab.faultruns import flows, settings
 
 FOUND = [
