Answer a backend server's call without state beside it

Cause: reading the whole change again: the answer to an announcement was kept in a field that every nested membership event cleared. News of servers that made a route fail, and so refresh, cleared it before it was read, and an entry VM would have stopped on its own assertion. Change: the answer is the first action, as the coordinator promises, and is returned from there; the field and an unused method are gone.

--- a/libs/daemons/src/kumquatmux_daemons/entry/admission_desk.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/admission_desk.py
@@ -105,11 +105,6 @@
             pool.line for a in self.admissions.values() for pool in a.pools.values()
         )
 
-    def next_deadline(self) -> float:
-        """Return when ``tick`` is next needed, in seconds; infinite if never."""
-        deadlines = [a.next_deadline() for a in self.admissions.values()]
-        return min(deadlines, default=float("inf"))
-
     def report(self, report: placement.LoadReported, now: float) -> None:
         """Tell admission what a server says of its load."""
         for admission in self.admissions.values():
--- a/libs/daemons/src/kumquatmux_daemons/entry/node.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/node.py
@@ -110,7 +110,6 @@
         self.failures: deque[str] = deque(maxlen=FAILURES_KEPT)
         self.engines_due = 0.0
         self.digest_due = 0.0
-        self.last_answer: membership.LeaseAnswer | None = None
 
     def on_message(self, delivery: Delivery, now: float) -> None:
         """Take a message of an authenticated peer."""
@@ -167,13 +166,12 @@
     def _(self, message: DrainRequest, sender: VmId, now: float) -> None:
         held = message.server in self.coordinator.leases.holder.held
         if held:
-            self.coordinate(membership.Drain(message.server), now)
+            self.answer_server(membership.Drain(message.server), now)
         answer = DrainAnswer(self.me.vm, message.number, held)
         self.parts.links.send(sender, answer)
 
     def coordinate(self, event: membership.Event, now: float) -> None:
         """Let membership and leases decide about an event."""
-        self.last_answer = None
         for action in self.coordinator.handle(event, now):
             self.perform(action, now)
 
@@ -185,10 +183,12 @@
     def answer_server(
         self, event: membership.Event, now: float
     ) -> membership.LeaseAnswer:
-        """Return the answer to a backend server's call."""
-        self.coordinate(event, now)
-        assert self.last_answer is not None, "a call is always answered"
-        return self.last_answer
+        """Return the answer to a backend server's call, once it is carried out."""
+        answer, *actions = self.coordinator.handle(event, now)
+        assert isinstance(answer, membership.LeaseAnswer), "a call is answered first"
+        for action in actions:
+            self.perform(action, now)
+        return answer
 
     def report(self, server: ServerId, busy: int, open_: int, now: float) -> None:
         """Take a server's own report of its load."""
@@ -268,10 +268,6 @@
         self.directory.use_leases(action, now)
         self.spread_servers(now)
 
-    @perform.register
-    def _(self, action: membership.LeaseAnswer, now: float) -> None:
-        self.last_answer = action
-
     @perform.register
     def _(self, action: membership.PeerAhead, now: float) -> None:
         self.settle(copy_events.PeerRevision(action.vm, action.revision), now)
--- a/libs/lab/src/kumquatmux_lab/faultruns/site_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/site_world.py
@@ -464,7 +464,7 @@
         """Announce a backend server at an entry VM of its zone, again and again."""
         if backend.has_left or backend.is_dead:
             return
-        granted = self._call(backend, self._lease(backend))
+        granted = self._call(backend, self.announcement(backend))
         if not granted:
             backend.entry += 1
         pause = RENEW_S if granted else RENEW_RETRY_S
@@ -483,7 +483,8 @@
         backend.entry += 1
         self.after(RENEW_RETRY_S, lambda: self.retire(backend, leave=leave))
 
-    def _lease(self, backend: Backend) -> Announce:
+    def announcement(self, backend: Backend) -> Announce:
+        """Return what a backend server says of itself."""
         settings = backend.server.settings
         phase = Phase.DRAINING if backend.is_draining else Phase.LIVE
         lease = Lease(
