--- a/libs/daemons/src/kumquatmux_daemons/entry/forwarder.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/forwarder.py
@@ -10,7 +10,7 @@
 
 from kumquatmux_core.identity import Address, Endpoint, FlowKey, Vm, VmId
 from kumquatmux_core.problems import Problem
-from kumquatmux_core.segments import PROTOCOL_TCP, Segment
+from kumquatmux_core.segments import FLAG_RST, PROTOCOL_TCP, Segment
 from kumquatmux_daemons.entry.admission_desk import AdmissionDesk, WorkAction
 from kumquatmux_daemons.entry.directory import Directory
 from kumquatmux_daemons.entry.port import PacketPort
@@ -18,10 +18,12 @@
 from kumquatmux_daemons.transport.links import PeerLinks
 from kumquatmux_flows import events as flows
 from kumquatmux_flows.engine import FlowEngine
-from kumquatmux_packets import answers, envelope, reading
+from kumquatmux_packets import answers, envelope, layout, reading
 from kumquatmux_packets.rewriting import rewrite_source, rewrite_target
 
-TCP_PACKET_BYTES = 40
+TCP_PACKET_BYTES = layout.IP_HEADER_BYTES + layout.TCP_HEADER_BYTES
+ENVELOPE_MARK = bytes((envelope.MARK,))
+IPV4_MARK = bytes((layout.VERSION_AND_LENGTH,))
 LOG_EVERY_S = 5
 LONGEST_PATH = 32
 REPLY_STAGES = (flows.Stage.REPLY_TO_OWNER, flows.Stage.REPLY_CLOSE)
@@ -94,10 +96,13 @@
 
     def on_datagram(self, data: bytes, source: tuple[str, int], now: float) -> None:
         """Take one datagram of the fabric or of a peer."""
-        if data[:1] == b"\xc1":
+        if data[:1] == ENVELOPE_MARK:
             self.on_envelope(data, source, now)
             return
-        if len(data) < TCP_PACKET_BYTES or data[0] != 0x45 or data[9] != PROTOCOL_TCP:
+        if len(data) < TCP_PACKET_BYTES or data[:1] != IPV4_MARK:
+            self.on_other(data, now)
+            return
+        if data[layout.PROTOCOL] != PROTOCOL_TCP:
             self.on_other(data, now)
             return
         route = self.directory.by_target.get(data[9:10] + data[16:20] + data[22:24])
@@ -240,7 +245,7 @@
 
     def refuse(self, segment: Segment) -> None:
         """Answer a caller's packet with a reset or port unreachable."""
-        if segment.is_tcp and segment.flags & 0x04:
+        if segment.is_tcp and segment.flags & FLAG_RST:
             return
         self.port.send(answers.refuse_caller(segment), self.fabric)
 
