--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := core packets flows placement membership agreement storage settings daemons lab
-EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
+LIBS := core packets flows placement membership registry tokens agreement storage settings daemons lab
+EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform
 SEED ?= 1
 RUNS ?= 2000
 WHAT ?= all
@@ -13,7 +13,7 @@
 
 setup: $(VENV)/stamp
 
-$(VENV)/stamp: constraints.txt $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml)
+$(VENV)/stamp: constraints.txt $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt setuptools wheel
 	$(BIN)/pip install -q -c constraints.txt --no-build-isolation $(EDITABLE) ruff mypy pytest pytest-trio hypothesis
@@ -34,7 +34,7 @@
 	$(BIN)/ruff format .
 
 types: setup
-	$(BIN)/mypy $(foreach lib,$(LIBS),libs/$(lib)/src)
+	$(BIN)/mypy $(foreach lib,$(LIBS),libs/$(lib)/src) platform/src
 
 check: lint types test
 
--- a/libs/agreement/src/kumquatmux_agreement/events.py
+++ b/libs/agreement/src/kumquatmux_agreement/events.py
@@ -45,6 +45,10 @@
     token: str
 
 
+class HandOver(NamedTuple):
+    """The process is about to stop: a leader asks another voter to lead."""
+
+
 class Persisted(NamedTuple):
     """A ``Persist`` has been synced. They are reported in the order of asking."""
 
@@ -169,6 +173,7 @@
     | Propose
     | Read
     | ChangeMembership
+    | HandOver
     | Persisted
     | PersistFailed
     | SnapshotTaken
--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -19,6 +19,7 @@
         last_index: Last entry of its log.
         last_term: Term of that entry.
         is_trial: Whether this is the pre-vote, which binds nobody.
+        is_handover: Whether the leader asked the sender to stand in its place.
     """
 
     cluster: str
@@ -28,6 +29,7 @@
     last_index: int
     last_term: int
     is_trial: bool
+    is_handover: bool = False
 
 
 class VoteReply(NamedTuple):
@@ -163,6 +165,22 @@
     sender: ReplicaId
 
 
+class StandNow(NamedTuple):
+    """A leader that stops asks a voter to stand for election at once.
+
+    Attributes:
+        cluster: Name of the cluster.
+        sender: The leader.
+        to: The voter, whose log equals the leader's.
+        term: The leader's term.
+    """
+
+    cluster: str
+    sender: ReplicaId
+    to: ReplicaId
+    term: int
+
+
 Message = (
     VoteRequest
     | VoteReply
@@ -171,6 +189,7 @@
     | SnapshotChunk
     | SnapshotReply
     | JoinRequest
+    | StandNow
 )
 
 MESSAGE_TYPES: dict[int, type] = {
@@ -181,6 +200,7 @@
     0x0305: SnapshotChunk,
     0x0306: SnapshotReply,
     0x0307: JoinRequest,
+    0x0308: StandNow,
 }
 """Message types by kind, to be merged into the registry of a channel."""
 
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -16,6 +16,7 @@
     Action,
     ChangeMembership,
     Event,
+    HandOver,
     Outcome,
     Persisted,
     PersistFailed,
@@ -33,6 +34,7 @@
     JoinRequest,
     SnapshotChunk,
     SnapshotReply,
+    StandNow,
     VoteReply,
     VoteRequest,
 )
@@ -150,6 +152,11 @@
             return
         leading.change_membership(self.core, leadership, event.vms, event.token)
 
+    @_on.register
+    def _(self, event: HandOver) -> None:
+        if self.core.leadership is not None:
+            voting.hand_over(self.core, self.core.leadership)
+
     @_on.register
     def _(self, event: Persisted) -> None:
         core = self.core
@@ -217,6 +224,10 @@
             return
         leading.snapshot_answered(self.core, message)
 
+    @_receive.register
+    def _(self, message: StandNow) -> None:
+        voting.stand_now(self.core, message)
+
     @_receive.register
     def _(self, message: JoinRequest) -> None:
         leadership = self.core.leadership
--- /dev/null
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -0,0 +1,78 @@
+"""Which control VMs should vote, when VMs come and go without an operator."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import VmId, ZoneName
+
+
+class Candidate(NamedTuple):
+    """A control VM that may vote.
+
+    Attributes:
+        vm: Its name.
+        zone: Its availability zone.
+    """
+
+    vm: VmId
+    zone: ZoneName
+
+
+class SeatsView(NamedTuple):
+    """What a leader knows of control VMs.
+
+    Attributes:
+        leader: The leader's VM.
+        wanted: The VMs that are wanted as voters now.
+        present: Control VMs that were heard lately, the leader's included.
+        gone: Wanted VMs that have not been heard for long.
+        size: How many voters there should be.
+    """
+
+    leader: VmId
+    wanted: tuple[VmId, ...]
+    present: tuple[Candidate, ...]
+    gone: frozenset[VmId]
+    size: int
+
+
+def voters_for(losses: int) -> int:
+    """Return how many voters outlive the loss of some of them."""
+    return 2 * losses + 1
+
+
+def next_wanted(view: SeatsView) -> tuple[VmId, ...] | None:
+    """Return the VMs that should be wanted next, None to keep them.
+
+    A seat moves only from a VM that is gone to one that is present, so that a
+    short silence moves nothing while nobody waits for the seat.
+    """
+    spare = [one for one in view.present if one.vm not in view.wanted]
+    if len(view.wanted) < view.size:
+        return _grown(view, spare)
+    for vm in view.wanted:
+        if vm in view.gone and spare:
+            chosen = _best(view, spare, set(view.wanted) - {vm})
+            return tuple(sorted({*view.wanted, chosen} - {vm}))
+    return None
+
+
+def _grown(view: SeatsView, spare: list[Candidate]) -> tuple[VmId, ...] | None:
+    missing = view.size - len(view.wanted)
+    if len(spare) < missing:
+        return None
+    wanted = set(view.wanted)
+    for _ in range(missing):
+        chosen = _best(view, spare, wanted)
+        wanted.add(chosen)
+        spare = [one for one in spare if one.vm != chosen]
+    return tuple(sorted(wanted))
+
+
+def _best(view: SeatsView, spare: list[Candidate], seated: set[VmId]) -> VmId:
+    """Return the spare VM whose zone holds the fewest seats."""
+    zones = {one.vm: one.zone for one in view.present}
+    taken = [zones.get(vm) for vm in seated]
+    chosen = min(spare, key=lambda one: (taken.count(one.zone), one.vm))
+    return chosen.vm
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -6,8 +6,9 @@
 from kumquatmux_agreement.election import Election
 from kumquatmux_agreement.entries import VoteRecord
 from kumquatmux_agreement.events import Role, Send
+from kumquatmux_agreement.leadership import Leadership
 from kumquatmux_agreement.leading import become_leader
-from kumquatmux_agreement.messages import VoteReply, VoteRequest
+from kumquatmux_agreement.messages import StandNow, VoteReply, VoteRequest
 from kumquatmux_core.decisions import log as log_decision
 
 
@@ -27,7 +28,7 @@
 
 def vote_asked(core: ReplicaCore, message: VoteRequest) -> None:
     """Grant a vote or refuse it."""
-    if _follows_live_leader(core):
+    if _follows_live_leader(core) and not message.is_handover:
         _answer(core, message, is_granted=False)
         return
     if message.is_trial:
@@ -78,7 +79,27 @@
         become_leader(core)
 
 
-def _stand_in_earnest(core: ReplicaCore) -> None:
+def stand_now(core: ReplicaCore, message: StandNow) -> None:
+    """Stand at once in place of a leader that stops."""
+    if message.term == core.term and core.may_stand and core.leadership is None:
+        core.set_role(Role.CANDIDATE, None)
+        _stand_in_earnest(core, is_handover=True)
+
+
+def hand_over(core: ReplicaCore, leadership: Leadership) -> None:
+    """Ask a voter that holds the whole log to lead instead, if there is one."""
+    live = leadership.live(core.clock)
+    for voter in core.log.configuration.voters:
+        progress = leadership.progress.get(voter)
+        if progress is None or voter not in live:
+            continue
+        if progress.match >= core.log.last_index:
+            log_decision("agreement-hand-over", replica=core.me, to=voter)
+            core.send(StandNow(core.cluster, core.me, voter, core.term), voter.vm)
+            return
+
+
+def _stand_in_earnest(core: ReplicaCore, *, is_handover: bool = False) -> None:
     term = core.term + 1
     log_decision("agreement-stand", replica=core.me, term=term)
     core.vote = VoteRecord(term, core.me)
@@ -86,10 +107,12 @@
     election = Election(term, is_trial=False)
     core.election = election
     last = next(reversed(core.unsynced.values()))
-    last.then.extend(_requests(core, election))
+    last.then.extend(_requests(core, election, is_handover=is_handover))
 
 
-def _requests(core: ReplicaCore, election: Election) -> list[Send]:
+def _requests(
+    core: ReplicaCore, election: Election, *, is_handover: bool = False
+) -> list[Send]:
     voters = [voter for voter in core.log.configuration.voters if voter != core.me]
     return [
         Send(
@@ -102,6 +125,7 @@
                 core.log.last_index,
                 core.log.last_term,
                 election.is_trial,
+                is_handover,
             ),
         )
         for voter in voters
--- a/libs/daemons/src/kumquatmux_daemons/entry/port.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/port.py
@@ -32,7 +32,7 @@
         """Send a datagram; a full or refused socket drops it like any network."""
         try:
             self.socket.sendto(data, target)
-        except (BlockingIOError, ConnectionRefusedError):
+        except OSError:
             self.counts["packets.unsent"] += 1
 
     async def serve(self, handler: Handler, end_batch: Callable[[float], None]) -> None:
@@ -51,7 +51,9 @@
                 data, source = receive(DATAGRAM_BYTES)
             except BlockingIOError:
                 return
-            except ConnectionRefusedError:
+            except OSError:
+                # An ICMP error about a datagram sent earlier; it is read once.
+                self.counts["packets.icmp"] += 1
                 continue
             handler(data, source, now)
 
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/plain_http/server.py
@@ -0,0 +1,150 @@
+"""Serves HTTP/1.1 calls over TCP, one task a connection."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import h11
+import trio
+
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import Endpoint
+
+BACKLOG = 512
+READ_BYTES = 65_536
+BODY_BYTES = 1_048_576
+"""Longest body taken; a longer one is refused with 413."""
+
+IDLE_S = 30.0
+"""Seconds a connection may wait for its next call, or a call for its next bytes."""
+
+
+class HttpCall(NamedTuple):
+    """One call.
+
+    Attributes:
+        method: Its method, in capitals.
+        target: Its path with the query.
+        body: Its whole body.
+    """
+
+    method: str
+    target: str
+    body: bytes
+
+
+class HttpAnswer(NamedTuple):
+    """The answer to one call.
+
+    Attributes:
+        status: Status code.
+        body: The body, empty for none.
+        content_type: Type of the body.
+        location: Where to call instead, empty for none.
+        retry_after_s: Seconds after which to call again, 0 for nothing said.
+    """
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    location: str = ""
+    retry_after_s: int = 0
+
+
+Handler = Callable[[HttpCall], Awaitable[HttpAnswer]]
+
+
+async def serve_http(bind: Endpoint, handler: Handler) -> None:
+    """Serve calls at an address, until cancelled."""
+    listener = trio.socket.from_stdlib_socket(listen(bind))
+    async with trio.open_nursery() as nursery:
+        while True:
+            try:
+                connection, _ = await listener.accept()
+            except OSError as error:
+                log_decision("accept-failed", endpoint=bind, problem=error)
+                await trio.sleep(0.1)
+                continue
+            stream = trio.SocketStream(connection)
+            nursery.start_soon(serve_connection, stream, handler)
+
+
+def listen(bind: Endpoint) -> socket.socket:
+    """Return a listening socket that does not block."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    listener.bind(bind)
+    listener.listen(BACKLOG)
+    return listener
+
+
+async def serve_connection(stream: trio.abc.Stream, handler: Handler) -> None:
+    """Serve the calls of one connection, one after the other."""
+    connection = h11.Connection(h11.SERVER)
+    try:
+        async with stream:
+            while await serve_call(stream, connection, handler):
+                connection.start_next_cycle()
+    except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+        # The caller went away or fell silent: it calls again if it needs an answer.
+        return
+    except (h11.RemoteProtocolError, h11.LocalProtocolError) as error:
+        log_decision("call-unread", problem=error)
+
+
+async def serve_call(
+    stream: trio.abc.Stream, connection: h11.Connection, handler: Handler
+) -> bool:
+    """Serve one call; return whether another one may follow."""
+    request: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = await _next_event(stream, connection)
+        if isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > BODY_BYTES:
+                await _send(stream, connection, HttpAnswer(413))
+                return False
+        elif isinstance(event, h11.EndOfMessage) and request is not None:
+            break
+        else:
+            return False
+    call = HttpCall(request.method.decode(), request.target.decode(), bytes(body))
+    await _send(stream, connection, await handler(call))
+    return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
+
+async def _next_event(stream: trio.abc.Stream, connection: h11.Connection) -> object:
+    while True:
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if connection.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await stream.send_all(connection.send(go_on) or b"")
+        with trio.fail_after(IDLE_S):
+            connection.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+
+
+async def _send(
+    stream: trio.abc.Stream, connection: h11.Connection, answer: HttpAnswer
+) -> None:
+    headers = [("Content-Length", str(len(answer.body)))]
+    if answer.body:
+        headers.append(("Content-Type", answer.content_type))
+    if answer.location:
+        headers.append(("Location", answer.location))
+    if answer.retry_after_s:
+        headers.append(("Retry-After", str(answer.retry_after_s)))
+    response = h11.Response(status_code=answer.status, headers=headers)
+    data = connection.send(response) or b""
+    if answer.body:
+        data += connection.send(h11.Data(data=answer.body)) or b""
+    data += connection.send(h11.EndOfMessage()) or b""
+    with trio.fail_after(IDLE_S):
+        await stream.send_all(data)
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -0,0 +1,188 @@
+"""The replica, its store and the document log of one control VM as one part."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from random import Random
+from typing import NamedTuple
+
+from kumquatmux_agreement.entries import ReplicaId, Snapshot, joining_state
+from kumquatmux_agreement.events import (
+    Action,
+    Apply,
+    Event,
+    HandOver,
+    InstallSnapshot,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Reply,
+    Role,
+    RoleChanged,
+    Send,
+    SnapshotTaken,
+    TakeSnapshot,
+    Tick,
+)
+from kumquatmux_agreement.messages import Message
+from kumquatmux_agreement.replica import Replica
+from kumquatmux_agreement.settings import ReplicaSettings
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import VmId
+from kumquatmux_settings.documents import DocumentLog
+from kumquatmux_storage.store import Store, open_or_create
+
+REOPEN_S = 0.5
+"""Seconds between attempts to go on with a disk that failed."""
+
+
+class AgreedSends(NamedTuple):
+    """A message to another replica."""
+
+    vm: VmId
+    message: Message
+
+
+class Agreed:
+    """Carries out what the replica asks for and applies what it commits.
+
+    Attributes:
+        replica: The replica.
+        documents: The state machine.
+        sends: Messages to be sent.
+        replies: Answers of the replica.
+    """
+
+    def __init__(self, settings: ReplicaSettings, store: Store, random: Random) -> None:
+        self.settings = settings
+        self.store = store
+        self.random = random
+        self.documents = DocumentLog()
+        self.sends: list[AgreedSends] = []
+        self.replies: list[Reply] = []
+        self.reopen_at: float | None = None
+        self.replica = self._new_replica()
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads."""
+        return self.replica.core.leadership is not None
+
+    @property
+    def leader_vm(self) -> VmId | None:
+        """The VM that leads, if known."""
+        leader = self.replica.core.leader
+        return leader.vm if leader else None
+
+    def give(self, event: Event, now: float) -> None:
+        """Hand the replica an event and carry out what follows."""
+        if self.reopen_at is not None and now >= self.reopen_at:
+            self._reopen()
+        self._carry_out(self.replica.handle(event, now), now)
+
+    def tick(self, now: float) -> None:
+        """Tell the replica the time."""
+        self.give(Tick(), now)
+
+    def hand_over(self, now: float) -> None:
+        """Ask another replica to lead, if this one does."""
+        self.give(HandOver(), now)
+
+    def is_current(self) -> bool:
+        """Return whether a leader of now has confirmed what is applied here."""
+        core = self.replica.core
+        if core.log.term_at(core.commit) != core.term:
+            return False
+        if core.leadership is not None:
+            return core.commit >= core.leadership.first_index
+        is_fresh = core.clock - core.heard_at < core.settings.election_timeout_s
+        return core.leader is not None and is_fresh
+
+    def set_peers(self, vms: tuple[VmId, ...]) -> None:
+        """Name the VMs that are asked for admission."""
+        core = self.replica.core
+        if vms != core.settings.peers:
+            self.settings = self.settings._replace(peers=vms)
+            core.settings = self.settings
+
+    def _carry_out(self, actions: list[Action], now: float) -> None:
+        waiting = list(actions)
+        while waiting:
+            action = waiting.pop(0)
+            event = self._do(action, now)
+            if event is not None:
+                waiting.extend(self.replica.handle(event, now))
+
+    @singledispatchmethod
+    def _do(self, action: Action, now: float) -> Event | None:
+        raise TypeError(f"unknown action {type(action).__name__}")
+
+    @_do.register
+    def _(self, action: Send, now: float) -> Event | None:
+        self.sends.append(AgreedSends(action.to, action.message))
+        return None
+
+    @_do.register
+    def _(self, action: Persist, now: float) -> Event | None:
+        written = self.store.write(action)
+        if written.is_ok():
+            return Persisted(action.number)
+        self.reopen_at = now + REOPEN_S
+        return PersistFailed(action.number, written.error)
+
+    @_do.register
+    def _(self, action: Apply, now: float) -> Event | None:
+        for entry in action.entries:
+            self.documents.apply(entry.data)
+        return None
+
+    @_do.register
+    def _(self, action: InstallSnapshot, now: float) -> Event | None:
+        self._restore(action.snapshot)
+        return None
+
+    @_do.register
+    def _(self, action: TakeSnapshot, now: float) -> Event | None:
+        return SnapshotTaken(action.log_index, self.documents.snapshot())
+
+    @_do.register
+    def _(self, action: Reply, now: float) -> Event | None:
+        self.replies.append(action)
+        return None
+
+    @_do.register
+    def _(self, action: RoleChanged, now: float) -> Event | None:
+        return None
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        if snapshot.data:
+            self.documents.restore(snapshot.data)
+
+    def _new_replica(self) -> Replica:
+        restored = self.store.restored
+        self._restore(restored.snapshot)
+        log_decision(
+            "replica-started",
+            replica=self.settings.replica,
+            term=restored.vote.term,
+            snapshot=restored.snapshot.log_index,
+            entries=len(restored.entries),
+            document=self.documents.newest.number,
+        )
+        return Replica(self.settings, restored, self.random)
+
+    def _reopen(self) -> None:
+        """Go on from what the disk holds after a write failed."""
+        self.reopen_at = None
+        if self.replica.core.role != Role.FAILED:
+            return
+        identity = self.store.identity
+        opened = open_or_create(self.store.disk, identity, joining_state())
+        if opened.is_error():
+            log_decision("storage-still-failing", problem=opened.error)
+            self.reopen_at = self.replica.core.now + REOPEN_S
+            return
+        self.store = opened.ok
+        replica = ReplicaId(identity.vm, self.store.identity.folder)
+        self.settings = self.settings._replace(replica=replica)
+        self.replica = self._new_replica()
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/calls.py
@@ -0,0 +1,84 @@
+"""Calls of operators and backend servers, and their answers, free of any format."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from expression import Result
+
+from kumquatmux_core.identity import Endpoint, VmId
+from kumquatmux_core.problems import Problem
+from kumquatmux_daemons.plain_http.server import HttpAnswer, HttpCall
+from kumquatmux_registry.records import Report
+
+
+class ReportCall(NamedTuple):
+    """A backend server reports."""
+
+    report: Report
+
+
+class LeaveCall(NamedTuple):
+    """A backend server says that it ends."""
+
+    name: str
+
+
+class PutDocument(NamedTuple):
+    """An operator sends a document, already checked.
+
+    Attributes:
+        number: Its number.
+        content: Its content as it was sent.
+    """
+
+    number: int
+    content: bytes
+
+
+class ReadDocument(NamedTuple):
+    """An operator asks for the newest document."""
+
+
+Call = ReportCall | LeaveCall | PutDocument | ReadDocument
+
+
+class Outcome(StrEnum):
+    """What became of a call.
+
+    ``UNAVAILABLE`` is also said of what may have happened: the caller asks again.
+    """
+
+    DONE = "done"
+    REFUSED = "refused"
+    ELSEWHERE = "elsewhere"
+    UNAVAILABLE = "unavailable"
+
+
+class Answer(NamedTuple):
+    """The answer to a call.
+
+    Attributes:
+        outcome: What became of it.
+        content: The document that was asked for.
+        report_to: Where the backend server should report from now on, if known.
+        leader: The VM to call instead, with ``ELSEWHERE``.
+        problem: Why, unless it was done.
+    """
+
+    outcome: Outcome
+    content: bytes = b""
+    report_to: Endpoint | None = None
+    leader: VmId | None = None
+    problem: Problem | None = None
+
+
+class CallFormat(Protocol):
+    """How calls and answers look on the wire."""
+
+    def read_call(self, call: HttpCall) -> Result[Call, Problem]:
+        """Return what a call asks for, or why it cannot be read."""
+
+    def write_answer(self, call: HttpCall, answer: Answer) -> HttpAnswer:
+        """Return an answer as it is sent."""
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -0,0 +1,321 @@
+"""What a registrar decides: messages, calls and time in, messages and answers out."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Any, NamedTuple
+
+from kumquatmux_agreement.events import ChangeMembership, Propose, Read, Received, Reply
+from kumquatmux_agreement.events import Outcome as ReplicaOutcome
+from kumquatmux_agreement.messages import Message as ReplicaMessage
+from kumquatmux_agreement.seats import Candidate, SeatsView, next_wanted, voters_for
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import Endpoint, VmId, ZoneName
+from kumquatmux_core.problems import Problem
+from kumquatmux_daemons.registrar.agreed import Agreed
+from kumquatmux_daemons.registrar.calls import (
+    Answer,
+    Call,
+    LeaveCall,
+    Outcome,
+    PutDocument,
+    ReadDocument,
+    ReportCall,
+)
+from kumquatmux_daemons.registrar.settings import RegistrarSettings
+from kumquatmux_registry.feed import FeedAnswer, FeedPoll
+from kumquatmux_registry.follower import Follower, FollowerSettings
+from kumquatmux_registry.leases import Leases
+from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
+from kumquatmux_registry.publisher import Document, Publisher, PublisherSettings
+from kumquatmux_registry.settings import RegistrySettings
+from kumquatmux_settings.documents import NumberedDocument, entry_of
+
+POLL_S = 0.5
+"""Seconds between polls of the other control VMs."""
+
+EXPIRY_S = 0.25
+"""Seconds between looks at the leases."""
+
+SEATS_S = 0.5
+"""Seconds between looks at who should vote."""
+
+GONE_S = 2.0
+"""Seconds without a word after which a voter's seat may go to a VM that is there."""
+
+LATE_REPORTS = 2.5
+"""Reports a backend server may miss before it is late, beside its time to move on."""
+
+MOVE_ON_S = 1.5
+"""Seconds in which a backend server whose report failed reports elsewhere."""
+
+
+class Sent(NamedTuple):
+    """A message for another VM."""
+
+    vm: VmId
+    message: Any
+
+
+class Answered(NamedTuple):
+    """The answer to a call."""
+
+    token: str
+    answer: Answer
+
+
+class RegistrarCore:
+    """One control VM's decisions.
+
+    Attributes:
+        agreed: The replicated documents.
+        leases: The backend servers.
+        publisher: The feed to others.
+        follower: The feeds of the other control VMs.
+        is_stopping: Whether it sends callers elsewhere.
+    """
+
+    def __init__(
+        self,
+        settings: RegistrarSettings,
+        agreed: Agreed,
+        incarnation: int,
+        now: float,
+    ) -> None:
+        self.settings = settings
+        self.agreed = agreed
+        late = settings.report_period_s * LATE_REPORTS + MOVE_ON_S
+        registry = RegistrySettings(late_after_s=late, holder_silent_s=late + MOVE_ON_S)
+        self.leases = Leases(registry, settings.vm)
+        self.publisher = Publisher(
+            PublisherSettings(settings.vm, settings.zone, incarnation), self.leases
+        )
+        self.follower = Follower(
+            FollowerSettings(settings.vm, settings.zone, True, settings.seeds)
+        )
+        self.is_stopping = False
+        self.started_at = now
+        self.out: list[Sent | Answered] = []
+        self.due: dict[str, float] = {}
+        self.leads_since: float | None = None
+
+    def message(self, sender: VmId, message: Any, now: float) -> list[Sent | Answered]:
+        """Take a message of another VM."""
+        if isinstance(message, ReplicaMessage):
+            self.agreed.give(Received(message), now)
+        else:
+            self._take(message, now)
+        return self._effects(now)
+
+    def call(self, call: Call, token: str, now: float) -> list[Sent | Answered]:
+        """Take a call; it is answered at once or later under its token."""
+        self._call(call, token, now)
+        return self._effects(now)
+
+    def tick(self, now: float) -> list[Sent | Answered]:
+        """Do what is due."""
+        self.agreed.tick(now)
+        if self._is_due("poll", POLL_S, now):
+            for vm, poll in self.follower.polls(now):
+                self.out.append(Sent(vm, poll))
+            self.agreed.set_peers(tuple(sorted(self.follower.sources)))
+        if self._is_due("expiry", EXPIRY_S, now) and self.leases.expire(now):
+            self._push(now)
+        if self._is_due("seats", SEATS_S, now):
+            self._look_at_seats(now)
+        return self._effects(now)
+
+    def stop(self, now: float) -> list[Sent | Answered]:
+        """Send callers elsewhere and hand leadership over."""
+        self.is_stopping = True
+        self.agreed.hand_over(now)
+        return self._effects(now)
+
+    @singledispatchmethod
+    def _take(self, message: Any, now: float) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_take.register
+    def _(self, message: FeedPoll, now: float) -> None:
+        answer = self.publisher.answer(message, now)
+        self.out.append(Sent(message.sender, answer))
+        if message.is_control:
+            self.follower.add(message.sender)
+
+    @_take.register
+    def _(self, message: FeedAnswer, now: float) -> None:
+        self.leases.hear_holder(message.sender, now)
+        self.follower.take(message, now)
+        merged = [self.leases.merge(record, now) for record in message.records]
+        if any(merged):
+            self._push(now)
+        if self.follower.has_more(message):
+            poll = self.follower.poll_of(message.sender, now)
+            self.out.append(Sent(message.sender, poll))
+
+    @_take.register
+    def _(self, message: TokenQuestion, now: float) -> None:
+        for held in self.leases.table.held.values():
+            if held.record.token == message.token:
+                answer = TokenAnswer(self.settings.vm, held.record)
+                self.out.append(Sent(message.sender, answer))
+
+    @_take.register
+    def _(self, message: TokenAnswer, now: float) -> None:
+        self.leases.merge(message.record, now)
+
+    @singledispatchmethod
+    def _call(self, call: Call, token: str, now: float) -> None:
+        raise TypeError(f"unknown call {type(call).__name__}")
+
+    @_call.register
+    def _(self, call: ReportCall, token: str, now: float) -> None:
+        if self.is_stopping:
+            self._unavailable(token, "stopping")
+            return
+        taken = self.leases.report(call.report, now)
+        if taken.is_error():
+            self._answer(token, Answer(Outcome.REFUSED, problem=taken.error))
+            return
+        if taken.ok:
+            self._push(now)
+        to = self._report_to(call.report.zone, now)
+        self._answer(token, Answer(Outcome.DONE, report_to=to))
+
+    @_call.register
+    def _(self, call: LeaveCall, token: str, now: float) -> None:
+        if self.leases.leave(call.name, now):
+            self._push(now)
+        self._answer(token, Answer(Outcome.DONE))
+
+    @_call.register
+    def _(self, call: PutDocument, token: str, now: float) -> None:
+        newest = self.agreed.documents.newest
+        if call.number <= newest.number:
+            log_decision("document-known", number=call.number, newest=newest.number)
+            self._answer(token, Answer(Outcome.DONE))
+        elif not self.agreed.is_leader or self.is_stopping:
+            self._elsewhere(token)
+        elif not newest.number and not self._is_seated():
+            self._unavailable(token, "too-few-voters")
+        else:
+            entry = entry_of(NumberedDocument(call.number, call.content))
+            self.agreed.give(Propose(entry, token), now)
+
+    @_call.register
+    def _(self, call: ReadDocument, token: str, now: float) -> None:
+        if not self.agreed.is_leader:
+            self._elsewhere(token)
+        else:
+            self.agreed.give(Read(token), now)
+
+    def _effects(self, now: float) -> list[Sent | Answered]:
+        self._answer_replies()
+        newest = self.agreed.documents.newest
+        self.publisher.is_current = self.agreed.is_current()
+        if newest.number > self.publisher.document.number:
+            self.publisher.document = Document(newest.number, newest.content)
+            self._push(now)
+        sends = self.agreed.sends
+        self.out.extend(Sent(one.vm, one.message) for one in sends)
+        sends.clear()
+        out = self.out
+        self.out = []
+        return out
+
+    def _answer_replies(self) -> None:
+        replies = self.agreed.replies
+        self.agreed.replies = []
+        for reply in replies:
+            self._answer_reply(reply)
+
+    def _answer_reply(self, reply: Reply) -> None:
+        if reply.token.startswith("seats"):
+            log_decision("seats-answered", outcome=reply.outcome, problem=reply.problem)
+        elif reply.outcome == ReplicaOutcome.COMMITTED:
+            self._answer(reply.token, Answer(Outcome.DONE))
+        elif reply.outcome == ReplicaOutcome.CURRENT:
+            self._answer_read(reply.token)
+        else:
+            answer = Answer(Outcome.UNAVAILABLE, problem=reply.problem)
+            self._answer(reply.token, answer)
+
+    def _answer_read(self, token: str) -> None:
+        newest = self.agreed.documents.newest
+        if newest.number:
+            self._answer(token, Answer(Outcome.DONE, content=newest.content))
+        else:
+            self._unavailable(token, "no-document")
+
+    def _elsewhere(self, token: str) -> None:
+        leader = self.agreed.leader_vm
+        if leader is None or leader == self.settings.vm:
+            self._unavailable(token, "no-leader")
+            return
+        self._answer(token, Answer(Outcome.ELSEWHERE, leader=leader))
+
+    def _unavailable(self, token: str, code: str) -> None:
+        problem = Problem(code, "ask again soon")
+        self._answer(token, Answer(Outcome.UNAVAILABLE, problem=problem))
+
+    def _answer(self, token: str, answer: Answer) -> None:
+        self.out.append(Answered(token, answer))
+
+    def _push(self, now: float) -> None:
+        self.out.extend(Sent(vm, answer) for vm, answer in self.publisher.push(now))
+
+    def _report_to(self, zone: ZoneName, now: float) -> Endpoint | None:
+        """Return the control VM of a server's zone, None to let it choose."""
+        if zone == self.settings.zone:
+            return self.settings.calls
+        limit = now - self.follower.settings.silent_s
+        for vm, source in sorted(self.follower.sources.items()):
+            if source.zone == zone and source.heard_at > limit:
+                return Endpoint(vm, self.settings.calls.port)
+        return None
+
+    def _is_seated(self) -> bool:
+        configuration = self.agreed.replica.core.log.configuration
+        return len(configuration.voters) >= voters_for(self.settings.losses)
+
+    def _look_at_seats(self, now: float) -> None:
+        if not self.agreed.is_leader:
+            self.leads_since = None
+            return
+        if self.leads_since is None:
+            self.leads_since = now
+        wanted = self.agreed.replica.core.log.configuration.vms
+        following = next_wanted(self._seats_view(wanted, now))
+        if following is None:
+            return
+        log_decision("seats-moved", wanted=",".join(following), former=",".join(wanted))
+        self.agreed.give(ChangeMembership(following, f"seats-{now}"), now)
+
+    def _seats_view(self, wanted: tuple[VmId, ...], now: float) -> SeatsView:
+        limit = now - self.follower.settings.silent_s
+        mine = Candidate(self.settings.vm, self.settings.zone)
+        others = [
+            Candidate(vm, source.zone)
+            for vm, source in self.follower.sources.items()
+            if source.heard_at > limit
+        ]
+        assert self.leads_since is not None
+        sources = self.follower.sources
+        gone = frozenset(
+            vm
+            for vm in wanted
+            if vm != self.settings.vm
+            and max(
+                sources[vm].heard_at if vm in sources else self.started_at,
+                self.leads_since,
+            )
+            < now - GONE_S
+        )
+        size = voters_for(self.settings.losses)
+        return SeatsView(self.settings.vm, wanted, (mine, *others), gone, size)
+
+    def _is_due(self, name: str, period_s: float, now: float) -> bool:
+        if now < self.due.get(name, 0.0):
+            return False
+        self.due[name] = now + period_s
+        return True
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/__init__.py
@@ -0,0 +1,3 @@
+"""The entry daemon that routes by tokens."""
+
+from __future__ import annotations
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -0,0 +1,239 @@
+"""What a token entry VM decides: packets, messages and the time in, datagrams out."""
+
+from __future__ import annotations
+
+from collections import Counter
+from functools import singledispatchmethod
+from random import Random
+from typing import Any, NamedTuple
+
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import VmId
+from kumquatmux_daemons.token_entry.formats import EntryFormat
+from kumquatmux_daemons.token_entry.settings import EntrySettings
+from kumquatmux_registry.feed import FeedAnswer
+from kumquatmux_registry.follower import Follower, FollowerSettings
+from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
+from kumquatmux_registry.records import ServerRecord
+from kumquatmux_registry.table import ServerTable
+from kumquatmux_tokens.load import LoadShare
+from kumquatmux_tokens.packets import Decision, Drop, Forward, Head, Hold, Reset
+from kumquatmux_tokens.router import TokenRouter
+from kumquatmux_tokens.settings import TokenSettings
+
+POLL_S = 0.5
+"""Seconds between polls of the control VMs, and between sweeps."""
+
+SEARCH_S = 0.1
+"""Seconds between polls while no document is known."""
+
+CUT_OFF_S = 2.0
+"""Seconds after the start from which a document that nobody confirms must do."""
+
+
+class Datagram(NamedTuple):
+    """A datagram of the packet port.
+
+    Attributes:
+        data: Its bytes.
+        target: IP number and port it goes to.
+    """
+
+    data: bytes
+    target: tuple[str, int]
+
+
+class Sent(NamedTuple):
+    """A message for another VM."""
+
+    vm: VmId
+    message: Any
+
+
+Effect = Datagram | Sent
+
+
+class EntryCore:
+    """One entry VM's decisions.
+
+    Attributes:
+        router: Where packets go.
+        follower: What control VMs tell.
+        counts: Decisions by kind.
+        is_ready: Whether the fabric may send packets here.
+        is_stopping: Whether it is about to stop.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, form: EntryFormat, random: Random, now: float
+    ) -> None:
+        self.settings = settings
+        self.format = form
+        self.table = ServerTable()
+        tokens = TokenSettings(settings.vm, settings.zone)
+        self.router = TokenRouter(tokens, random, now)
+        self.follower = Follower(
+            FollowerSettings(settings.vm, settings.zone, False, settings.seeds)
+        )
+        self.counts: Counter[str] = Counter()
+        self.started_at = now
+        self.has_served = False
+        self.is_stopping = False
+        self.poll_at = now
+        self.sweep_at = now
+        self.was_fed = False
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether packets may come: a document is in force here."""
+        if self.is_stopping:
+            return False
+        if self.has_served:
+            return True
+        is_cut_off = now - self.started_at > CUT_OFF_S
+        has_document = self.router.routes.number > 0
+        if has_document and (self.follower.is_fed(now) or is_cut_off):
+            self.has_served = True
+            log_decision(
+                "ready", document=self.router.routes.number, cut_off=is_cut_off
+            )
+        return self.has_served
+
+    def packet(self, data: bytes, now: float) -> list[Effect]:
+        """Return what follows from a caller's packet."""
+        head = self.format.read_head(data)
+        if head is None:
+            self.counts["packets.unread"] += 1
+            return []
+        return self._route(head, data, now)
+
+    def message(self, sender: VmId, message: Any, now: float) -> list[Effect]:
+        """Return what follows from a message of another VM."""
+        return self._take(message, now)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Return what is due."""
+        effects: list[Effect] = []
+        if now >= self.sweep_at:
+            self.sweep_at = now + POLL_S
+            self.router.sweep(now)
+            self._note_feed(now)
+        if now >= self.poll_at:
+            is_searching = not self.router.routes.number
+            self.poll_at = now + (SEARCH_S if is_searching else POLL_S)
+            effects += [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
+        return effects + self._share(now)
+
+    def _route(self, head: Head, data: bytes, now: float) -> list[Effect]:
+        decision = self.router.handle(head, now)
+        return self._carry_out(decision, head, data, now)
+
+    @singledispatchmethod
+    def _carry_out(
+        self, decision: Decision, head: Head, data: bytes, now: float
+    ) -> list[Effect]:
+        raise TypeError(f"unknown decision {type(decision).__name__}")
+
+    @_carry_out.register
+    def _(self, decision: Forward, head: Head, data: bytes, now: float) -> list[Effect]:
+        self.counts["packets.forwarded"] += 1
+        packet = self.format.to_server(data, decision.server, decision.token)
+        return [Datagram(packet, decision.server.report.endpoint)]
+
+    @_carry_out.register
+    def _(self, decision: Reset, head: Head, data: bytes, now: float) -> list[Effect]:
+        self.counts[f"resets.{decision.reason}"] += 1
+        log_decision(
+            "flow-reset",
+            flow=head.flow.hex(),
+            reason=decision.reason,
+            opening=head.is_opening,
+            token=head.token,
+            document=self.router.routes.number,
+        )
+        reset = self.format.reset_for(data, decision.sequence)
+        target = (self.format.caller_ip(data), self.settings.packets.port)
+        return [Datagram(reset, target)]
+
+    @_carry_out.register
+    def _(self, decision: Drop, head: Head, data: bytes, now: float) -> list[Effect]:
+        self.counts[f"drops.{decision.reason}"] += 1
+        log_decision(
+            "packet-dropped",
+            flow=head.flow.hex(),
+            reason=decision.reason,
+            copy=head.copy,
+            document=self.router.routes.number,
+        )
+        return []
+
+    @_carry_out.register
+    def _(self, decision: Hold, head: Head, data: bytes, now: float) -> list[Effect]:
+        self.counts["packets.held"] += 1
+        if not self.router.hold(head, data, now):
+            return []
+        log_decision("token-asked", token=decision.token, flow=head.flow.hex())
+        question = TokenQuestion(self.settings.vm, decision.token)
+        asked = {*self.follower.peers, *self.follower.sources} - {self.settings.vm}
+        return [Sent(vm, question) for vm in sorted(asked)]
+
+    @singledispatchmethod
+    def _take(self, message: Any, now: float) -> list[Effect]:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_take.register
+    def _(self, message: FeedAnswer, now: float) -> list[Effect]:
+        former = self.follower.document.number
+        self.follower.take(message, now)
+        if self.follower.document.number > former:
+            self._install(now)
+        effects = self._merge(message.records, now)
+        is_behind = message.document > self.follower.document.number
+        if self.follower.has_more(message) or (is_behind and not message.content):
+            poll = self.follower.poll_of(message.sender, now)
+            if poll.wants_push:
+                effects.append(Sent(message.sender, poll))
+        return effects
+
+    @_take.register
+    def _(self, message: LoadShare, now: float) -> list[Effect]:
+        self.router.load.take_share(message, now)
+        return []
+
+    @_take.register
+    def _(self, message: TokenQuestion, now: float) -> list[Effect]:
+        entry = self.router.directory.by_token.get(message.token)
+        if entry is None:
+            return []
+        return [Sent(message.sender, TokenAnswer(self.settings.vm, entry.record))]
+
+    @_take.register
+    def _(self, message: TokenAnswer, now: float) -> list[Effect]:
+        return self._merge((message.record,), now)
+
+    def _install(self, now: float) -> None:
+        routes = self.format.read_routes(self.follower.document.content)
+        if routes.is_error():
+            log_decision("document-unread", problem=routes.error)
+            return
+        self.router.install(routes.ok, now)
+
+    def _merge(self, records: tuple[ServerRecord, ...], now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for record in records:
+            for changed in self.table.merge(record, now):
+                for held in self.router.learn(changed, now):
+                    effects += self._route(held.head, held.data, now)
+        return effects
+
+    def _share(self, now: float) -> list[Effect]:
+        others = [vm for vm in self.follower.peers if vm != self.settings.vm]
+        if not others:
+            return []
+        share = self.router.load.share(now)
+        return [Sent(vm, share) for vm in others]
+
+    def _note_feed(self, now: float) -> None:
+        is_fed = self.follower.is_fed(now)
+        if is_fed != self.was_fed:
+            log_decision("feed-current" if is_fed else "feed-stale")
+        self.was_fed = is_fed
--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -0,0 +1,130 @@
+"""The token entry daemon: a thin loop around its core."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Iterable
+from random import Random
+from typing import Any, NamedTuple
+
+import trio
+
+from kumquatmux_core.codec import registry
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import VmId
+from kumquatmux_core.lines import LineWriter
+from kumquatmux_daemons import metrics_text
+from kumquatmux_daemons.entry.port import PacketPort
+from kumquatmux_daemons.plain_http.server import HttpAnswer, HttpCall, serve_http
+from kumquatmux_daemons.running import Watch, watch_settings, watch_signals
+from kumquatmux_daemons.token_entry.core import Datagram, Effect, EntryCore
+from kumquatmux_daemons.token_entry.formats import EntryFormat
+from kumquatmux_daemons.token_entry.settings import EntrySettings
+from kumquatmux_daemons.transport.datagrams import PeerDatagrams, every
+from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
+from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
+from kumquatmux_tokens.load import MESSAGE_TYPES as LOAD_MESSAGES
+
+TICK_S = 0.1
+
+
+class EntryParts(NamedTuple):
+    """What a token entry daemon is made of.
+
+    Attributes:
+        settings: Its settings.
+        format: How packets and documents look.
+        lines: Where its log lines go.
+        watch: Its settings file.
+    """
+
+    settings: EntrySettings
+    format: EntryFormat
+    lines: LineWriter
+    watch: Watch
+
+
+class Ports(NamedTuple):
+    """The sockets that effects go to."""
+
+    packets: PacketPort
+    peers: PeerDatagrams
+
+    def carry_out(self, effects: Iterable[Effect]) -> None:
+        """Send what the core wants sent."""
+        for effect in effects:
+            if isinstance(effect, Datagram):
+                self.packets.send(effect.data, effect.target)
+            else:
+                self.peers.send(effect.vm, effect.message)
+
+
+async def run_entry(parts: EntryParts) -> None:
+    """Run an entry VM until it has stopped gracefully."""
+    settings = parts.settings
+    parts.lines.tick(trio.current_time())
+    random = Random(secrets.randbits(64))
+    core = EntryCore(settings, parts.format, random, trio.current_time())
+    messages = registry(FEED_MESSAGES, LOOKUP_MESSAGES, LOAD_MESSAGES)
+    ports = Ports(PacketPort(settings.packets), PeerDatagrams(settings.peers, messages))
+
+    def take_packet(data: bytes, source: tuple[str, int], now: float) -> None:
+        ports.carry_out(core.packet(data, now))
+
+    def take_message(sender: VmId, message: Any, now: float) -> None:
+        ports.carry_out(core.message(sender, message, now))
+
+    def tick(now: float) -> None:
+        ports.carry_out(core.tick(now))
+
+    stopping = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ports.packets.serve, take_packet, _nothing)
+        nursery.start_soon(ports.peers.serve, take_message)
+        nursery.start_soon(every, TICK_S, tick)
+        nursery.start_soon(every, TICK_S, parts.lines.tick)
+        nursery.start_soon(serve_http, settings.readiness, readiness_handler(core))
+        nursery.start_soon(
+            serve_http, settings.metrics, metrics_handler(core, ports, parts.lines)
+        )
+        nursery.start_soon(watch_signals, parts.watch, core.follower, stopping)
+        nursery.start_soon(watch_settings, parts.watch, core.follower)
+        log_decision("started", role="entry", zone=settings.zone)
+        await stopping.wait()
+        core.is_stopping = True
+        await trio.sleep(settings.stop_s)
+        nursery.cancel_scope.cancel()
+    log_decision("stopped", role="entry")
+    parts.lines.flush()
+
+
+def readiness_handler(core: EntryCore) -> Any:
+    """Return what tells the fabric whether packets may come."""
+
+    async def handle(call: HttpCall) -> HttpAnswer:
+        is_ready = core.is_ready(trio.current_time())
+        return HttpAnswer(200 if is_ready else 503)
+
+    return handle
+
+
+def metrics_handler(core: EntryCore, ports: Ports, lines: LineWriter) -> Any:
+    """Return what answers with the metrics."""
+
+    async def handle(call: HttpCall) -> HttpAnswer:
+        counts = core.counts + ports.peers.counts + ports.packets.counts
+        gauges = {
+            "document": float(core.router.routes.number),
+            "servers": float(len(core.router.directory.by_token)),
+            "flows": float(len(core.router.load.flows)),
+            "held": float(core.router.held_count),
+            "lines_dropped": float(sum(lines.dropped.values())),
+        }
+        text = metrics_text.render(counts, gauges, core.router.load.latencies)
+        return HttpAnswer(200, text, "text/plain")
+
+    return handle
+
+
+def _nothing(now: float) -> None:
+    """A batch of packets needs nothing at its end."""
--- /dev/null
+++ b/libs/registry/src/kumquatmux_registry/__init__.py
@@ -0,0 +1,3 @@
+"""Leases of backend servers at control VMs and the feed that spreads them."""
+
+from __future__ import annotations
--- /dev/null
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -0,0 +1,122 @@
+"""The side of the feed that answers: one control VM and who follows it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import VmId, ZoneName
+from kumquatmux_registry.feed import FeedAnswer, FeedPoll
+from kumquatmux_registry.leases import Leases
+
+
+class Document(NamedTuple):
+    """The newest agreed document.
+
+    Attributes:
+        number: Its number, 0 for none.
+        content: Its packed content.
+    """
+
+    number: int = 0
+    content: bytes = b""
+
+
+class Follower(NamedTuple):
+    """One VM that follows the feed.
+
+    Attributes:
+        poll: Its latest poll, moved on by what was pushed since.
+        heard_at: When it polled last, in steady seconds.
+    """
+
+    poll: FeedPoll
+    heard_at: float
+
+
+class PublisherSettings(NamedTuple):
+    """How a control VM serves its followers.
+
+    Attributes:
+        vm: The control VM.
+        zone: Its availability zone.
+        incarnation: Its process.
+        follower_silent_s: Seconds without a poll after which a follower is gone.
+    """
+
+    vm: VmId
+    zone: ZoneName
+    incarnation: int
+    follower_silent_s: float = 3.0
+
+
+class Publisher:
+    """Answers polls and pushes news; a lost push is mended by the next poll."""
+
+    def __init__(self, settings: PublisherSettings, leases: Leases) -> None:
+        self.settings = settings
+        self.leases = leases
+        self.document = Document()
+        self.is_current = False
+        self.followers: dict[VmId, Follower] = {}
+
+    def answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
+        """Return what a poll asks for."""
+        if poll.sender not in self.followers:
+            log_decision("feed-follower", vm=poll.sender, zone=poll.zone)
+        self.followers[poll.sender] = Follower(poll, now)
+        if poll.is_control:
+            self.leases.hear_holder(poll.sender, now)
+        return self._answer(poll, now)
+
+    def push(self, now: float) -> list[tuple[VmId, FeedAnswer]]:
+        """Return the news for each follower that wants them at once."""
+        limit = now - self.settings.follower_silent_s
+        for vm, follower in list(self.followers.items()):
+            if follower.heard_at < limit:
+                log_decision("feed-follower-gone", vm=vm)
+                del self.followers[vm]
+        wanting = [one for one in self.followers.values() if one.poll.wants_push]
+        return [(one.poll.sender, self._answer(one.poll, now)) for one in wanting]
+
+    def control(self) -> tuple[VmId, ...]:
+        """Return the control VMs that are there, this one included."""
+        others = [vm for vm, one in self.followers.items() if one.poll.is_control]
+        return tuple(sorted([self.settings.vm, *others]))
+
+    def entries(self, zone: ZoneName) -> tuple[VmId, ...]:
+        """Return the entry VMs of a zone that are there."""
+        found = [
+            vm
+            for vm, one in self.followers.items()
+            if one.poll.zone == zone and not one.poll.is_control
+        ]
+        return tuple(sorted(found))
+
+    def _answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
+        mine = self.settings
+        since = poll.position if poll.incarnation == mine.incarnation else 0
+        limit = self.leases.settings.page_records
+        page = self.leases.table.after(since, limit)
+        is_behind = poll.document < self.document.number
+        wants_content = is_behind and poll.wants_push and not poll.is_control
+        position = page[-1].position if page else max(since, 0)
+        moved = poll._replace(incarnation=mine.incarnation, position=position)
+        if wants_content:
+            moved = moved._replace(document=self.document.number)
+        self.followers[poll.sender] = Follower(
+            moved, self.followers[poll.sender].heard_at
+        )
+        return FeedAnswer(
+            mine.vm,
+            mine.zone,
+            mine.incarnation,
+            since,
+            position,
+            tuple(held.record for held in page),
+            self.document.number,
+            self.document.content if wants_content else b"",
+            self.control(),
+            () if poll.is_control else self.entries(poll.zone),
+            self.is_current,
+        )
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -0,0 +1,263 @@
+"""What callers' packets show of the work at each server.
+
+Answers go past this VM. A request counts as work from the opening packet or its data
+on, until the caller acknowledges more than it had when it asked, closes or falls silent.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from kumquatmux_core.identity import VmId
+from kumquatmux_core.latencies import Latencies
+from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.settings import TokenSettings
+
+SEQUENCE_SPACE = 1 << 32
+HALF_SPACE = 1 << 31
+
+
+class Flow:
+    """One flow as this VM has seen it.
+
+    Attributes:
+        token: The server's token.
+        tried: Tokens that copies of the opening packet went to.
+        is_open: Whether the caller was seen to go on after the opening packet.
+        placed_at: When the latest opening packet was sent on.
+        seen_at: When its latest packet came.
+        busy_since: When the request in progress began, None for none.
+        asked_ack: What the caller had of the answers when it asked.
+        end: Place after the last byte of the caller's data.
+    """
+
+    __slots__ = (
+        "asked_ack",
+        "busy_since",
+        "end",
+        "is_open",
+        "placed_at",
+        "seen_at",
+        "token",
+        "tried",
+    )
+
+    def __init__(self, token: int, now: float) -> None:
+        self.token = token
+        self.tried: tuple[int, ...] = ()
+        self.is_open = False
+        self.placed_at = now
+        self.seen_at = now
+        self.busy_since: float | None = None
+        self.asked_ack = 0
+        self.end = 0
+
+
+class Work:
+    """The work at one server that passes this VM.
+
+    Attributes:
+        busy: Requests in progress.
+        open: Open flows.
+        strikes: Opening packets in a row that it left unanswered.
+        avoided_until: Until when flows go elsewhere if they can.
+        answered_at: When it last showed that it answers.
+    """
+
+    __slots__ = ("answered_at", "avoided_until", "busy", "open", "strikes")
+
+    def __init__(self) -> None:
+        self.busy = 0
+        self.open = 0
+        self.strikes = 0
+        self.avoided_until = -math.inf
+        self.answered_at = -math.inf
+
+
+class SharedWork(NamedTuple):
+    """One server's work as another VM of the zone sees it.
+
+    Attributes:
+        token: The server's token.
+        busy: Requests in progress.
+        open: Open flows.
+        is_avoided: Whether it left opening packets unanswered.
+    """
+
+    token: int
+    busy: int
+    open: int
+    is_avoided: bool
+
+
+class LoadShare(NamedTuple):
+    """What one VM tells the others of its zone.
+
+    Attributes:
+        sender: Who tells.
+        number: Grows with each message of a process.
+        work: The servers that it has work at or avoids.
+    """
+
+    sender: VmId
+    number: int
+    work: tuple[SharedWork, ...]
+
+
+class LoadTable:
+    """Flows and the work that they make.
+
+    Attributes:
+        flows: Flows by name.
+        work: Own work by token.
+        latencies: How long callers waited for handshakes and first answers.
+    """
+
+    def __init__(self, settings: TokenSettings) -> None:
+        self.settings = settings
+        self.flows: dict[bytes, Flow] = {}
+        self.work: dict[int, Work] = {}
+        self.shared: dict[VmId, tuple[float, dict[int, SharedWork]]] = {}
+        self.number = 0
+        self.latencies = Latencies()
+
+    def work_at(self, token: int) -> Work:
+        """Return the work at a server."""
+        found = self.work.get(token)
+        if found is None:
+            found = self.work[token] = Work()
+        return found
+
+    def place(self, head: Head, token: int, now: float) -> Flow:
+        """Count a flow whose opening packet goes to a server."""
+        flow = self.flows.get(head.flow)
+        if flow is None or flow.is_open:
+            self._remove(head.flow)
+            flow = self.flows[head.flow] = Flow(token, now)
+            self.work_at(token).open += 1
+        elif flow.token != token:
+            self._set_idle(flow)
+            self.work_at(flow.token).open -= 1
+            flow.token = token
+            self.work_at(token).open += 1
+        if token not in flow.tried:
+            flow.tried = (*flow.tried, token)
+        flow.placed_at = now
+        flow.seen_at = now
+        self._set_busy(flow, now)
+        return flow
+
+    def strike(self, flow: Flow, now: float) -> bool:
+        """Hold a copy of an opening packet against the server tried before."""
+        if now - flow.placed_at < self.settings.copy_gap_s:
+            return False
+        work = self.work_at(flow.token)
+        if work.answered_at > flow.placed_at:
+            return False
+        span = self.settings.strike_s * 2**work.strikes
+        work.strikes += 1
+        work.avoided_until = now + min(span, self.settings.strike_max_s)
+        return True
+
+    def note(self, head: Head, token: int, now: float) -> None:
+        """Learn from a packet of an open flow."""
+        flow = self.flows.get(head.flow)
+        if flow is None:
+            flow = self.flows[head.flow] = Flow(token, now)
+            flow.end = head.sequence
+            self.work_at(token).open += 1
+        flow.seen_at = now
+        if not flow.is_open:
+            self._open(flow, token, head, now)
+        if head.is_closing:
+            self._remove(head.flow)
+            return
+        if head.length and _is_after(head.sequence + head.length, flow.end):
+            flow.end = (head.sequence + head.length) % SEQUENCE_SPACE
+            flow.asked_ack = head.acknowledged
+            self._set_busy(flow, now)
+        elif _is_after(head.acknowledged, flow.asked_ack):
+            flow.asked_ack = head.acknowledged
+            self.work_at(flow.token).answered_at = now
+            if flow.busy_since is not None:
+                self.latencies.record("first-answer", now - flow.busy_since)
+            self._set_idle(flow)
+
+    def sweep(self, now: float) -> None:
+        """Stop counting what has been silent for long."""
+        idle = now - self.settings.flow_idle_s
+        busy = now - self.settings.busy_s
+        for key, flow in list(self.flows.items()):
+            if flow.seen_at < idle:
+                self._remove(key)
+            elif flow.busy_since is not None and flow.busy_since < busy:
+                self._set_idle(flow)
+        for token, work in list(self.work.items()):
+            is_unused = not work.open and work.avoided_until < now
+            if is_unused and work.answered_at < idle:
+                del self.work[token]
+
+    def share(self, now: float) -> LoadShare:
+        """Return what the other VMs of the zone should know."""
+        self.number += 1
+        work = tuple(
+            SharedWork(token, one.busy, one.open, one.avoided_until > now)
+            for token, one in self.work.items()
+            if one.open or one.avoided_until > now
+        )
+        return LoadShare(self.settings.vm, self.number, work)
+
+    def take_share(self, share: LoadShare, now: float) -> None:
+        """Take what another VM of the zone tells."""
+        self.shared[share.sender] = (now, {one.token: one for one in share.work})
+
+    def others(self, now: float) -> list[dict[int, SharedWork]]:
+        """Return what other VMs told lately."""
+        limit = now - self.settings.shared_for_s
+        return [work for at, work in self.shared.values() if at > limit]
+
+    def _open(self, flow: Flow, token: int, head: Head, now: float) -> None:
+        """The caller goes on with a server, not always the one tried last."""
+        flow.is_open = True
+        if flow.tried:
+            self.latencies.record("handshake", now - flow.placed_at)
+        flow.asked_ack = head.acknowledged
+        flow.end = head.sequence
+        if flow.token != token:
+            is_busy = flow.busy_since is not None
+            self._set_idle(flow)
+            self.work_at(flow.token).open -= 1
+            flow.token = token
+            self.work_at(token).open += 1
+            if is_busy:
+                self._set_busy(flow, now)
+        work = self.work_at(token)
+        work.strikes = 0
+        work.avoided_until = -math.inf
+        work.answered_at = now
+
+    def _set_busy(self, flow: Flow, now: float) -> None:
+        if flow.busy_since is None:
+            self.work_at(flow.token).busy += 1
+        flow.busy_since = now
+
+    def _set_idle(self, flow: Flow) -> None:
+        if flow.busy_since is not None:
+            self.work_at(flow.token).busy -= 1
+            flow.busy_since = None
+
+    def _remove(self, key: bytes) -> None:
+        flow = self.flows.pop(key, None)
+        if flow is not None:
+            self._set_idle(flow)
+            self.work_at(flow.token).open -= 1
+
+
+def _is_after(place: int, other: int) -> bool:
+    """Return whether a place of a sequence comes after another, around the end."""
+    return 0 < (place - other) % SEQUENCE_SPACE < HALF_SPACE
+
+
+MESSAGE_TYPES: dict[int, type] = {0x0605: LoadShare}
+"""Message types by kind, to be merged into the registry of a channel."""
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -0,0 +1,56 @@
+"""Settings of token routing."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import VmId, ZoneName
+
+
+class TokenSettings(NamedTuple):
+    """How one entry VM routes by tokens.
+
+    Attributes:
+        vm: This VM.
+        zone: Its availability zone.
+        flow_idle_s: Seconds without a packet after which a flow is not counted.
+        busy_s: Seconds after which a request that shows no answer is not counted
+            as work any more.
+        shared_for_s: Seconds for which another VM's counts are used.
+        settle_s: Seconds a new server is known before flows are placed on it, so
+            that the zone's other VMs know its token too.
+        ended_s: Seconds for which packets still go to a server that has said that
+            it ends, before its flows are reset.
+        route_gone_s: Seconds after which open flows of a removed route are reset;
+            by then every VM runs the document that removed it.
+        remote_cost: Slots' worth of work that is borne before a flow leaves its zone.
+        open_cost: Slots' worth of work that an open, idle flow stands for.
+        cold_cost: Factor on the load of a server that warms up.
+        strike_s: Seconds for which a server that left an opening packet unanswered
+            is avoided; doubles with each further one.
+        strike_max_s: Longest time for which it is avoided.
+        copy_gap_s: Seconds between an opening packet and its copy below which the
+            copy says nothing about the server, since this VM was late itself.
+        hold_s: Seconds a packet with an unknown token is held.
+        held_packets: Packets held at most.
+        known_s: Seconds for which a service without any server is expected to get
+            one; its opening packets are dropped, so that their copies may find it.
+    """
+
+    vm: VmId
+    zone: ZoneName
+    flow_idle_s: float = 15.0
+    busy_s: float = 2.0
+    shared_for_s: float = 0.5
+    settle_s: float = 0.1
+    ended_s: float = 1.0
+    route_gone_s: float = 6.0
+    remote_cost: float = 0.7
+    open_cost: float = 0.03
+    cold_cost: float = 1.6
+    strike_s: float = 0.5
+    strike_max_s: float = 4.0
+    copy_gap_s: float = 0.12
+    hold_s: float = 0.4
+    held_packets: int = 256
+    known_s: float = 5.0
