--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -1,7 +1,7 @@
 """What callers' packets show of the work at each server.
 
 Answers go past this VM. A request counts as work from the opening packet or its data
-on, until the caller acknowledges more than it had when it asked, closes or falls silent.
+on, until the caller acknowledges more than it had when it asked, closes or is silent.
 """
 
 from __future__ import annotations
