Come back sooner after all VMs lost power

Change: a replica without leases stands 0.15 to 0.3 s after its start, servers are kept in a file, opening packets wait at the entry VM while their callers do, and wait too when every server has six requests queued; work is counted 0.7 s, a placed flow that does not go on 0.25 s.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,4 +12,4 @@
   cp -r "libs/$package/src/kumquatmux_$package" "$deps/"
 done
 cp -r platform/src/kumquatmux_platform "$deps/"
-python3 -m compileall -q "$deps"
+python3 -m compileall -q -f --invalidation-mode unchecked-hash "$deps"
--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -102,9 +102,12 @@
         self.failure: Problem | None = None
         self.now = -math.inf
         self.clock = 0.0
-        self.heard_at = 0.0
+        start_s = settings.start_timeout_s
+        if settings.lease_share and start_s < settings.election_timeout_s:
+            raise ValueError("a leader's lease needs the whole timeout at a start")
+        self.heard_at = start_s - settings.election_timeout_s
         self.join_at = 0.0
-        self.election_at = self.next_election_at()
+        self.election_at = start_s * (1 + random.random())
         self.snapshot_asked = restored.snapshot.log_index
         self.persist_number = 0
         self.unsynced: dict[int, PendingPersist] = {}
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -19,6 +19,9 @@
         heartbeat_s: Seconds between heartbeats of a leader.
         election_timeout_s: Seconds without a leader before an election, at least;
             twice as long at most. Nobody votes within it of a leader's message.
+        start_timeout_s: Seconds after its start before a replica stands or votes, at
+            least; less than the election timeout only where no leader reads under
+            a lease, that is with a ``lease_share`` of 0.
         lease_share: Share of the election timeout for which a leader reads without
             asking; the rest covers clocks that run at different speeds.
         clock_gap_s: Seconds between two events above which the clock counts as
@@ -38,6 +41,7 @@
     peers: tuple[VmId, ...] = ()
     heartbeat_s: float = 0.5
     election_timeout_s: float = 2.0
+    start_timeout_s: float = 2.0
     lease_share: float = 0.6
     clock_gap_s: float = 0.4
     join_period_s: float = 1.0
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -28,6 +28,7 @@
 from kumquatmux_registry.leases import Leases
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.publisher import Document, Publisher, PublisherSettings
+from kumquatmux_registry.saved import SavedServers
 from kumquatmux_registry.settings import RegistrySettings
 from kumquatmux_settings.documents import NumberedDocument, entry_of
 
@@ -37,6 +38,9 @@
 EXPIRY_S = 0.25
 """Seconds between looks at the leases."""
 
+SAVE_S = 0.4
+"""Seconds between writes of the known servers, where they changed."""
+
 SEATS_S = 0.5
 """Seconds between looks at who should vote."""
 
@@ -64,6 +68,18 @@
     answer: Answer
 
 
+class CoreParts(NamedTuple):
+    """What of a registrar has a disk.
+
+    Attributes:
+        agreed: The replicated documents.
+        saved: The file of servers.
+    """
+
+    agreed: Agreed
+    saved: SavedServers
+
+
 class RegistrarCore:
     """One control VM's decisions.
 
@@ -78,12 +94,13 @@
     def __init__(
         self,
         settings: RegistrarSettings,
-        agreed: Agreed,
+        parts: CoreParts,
         incarnation: int,
         now: float,
     ) -> None:
         self.settings = settings
-        self.agreed = agreed
+        self.agreed = parts.agreed
+        self.saved = parts.saved
         late = settings.report_period_s * LATE_REPORTS + MOVE_ON_S
         registry = RegistrySettings(late_after_s=late, holder_silent_s=late + MOVE_ON_S)
         self.leases = Leases(registry, settings.vm)
@@ -95,6 +112,9 @@
         )
         self.is_stopping = False
         self.started_at = now
+        for record in self.saved.load():
+            self.leases.merge(record, now)
+        self.saved_position = self.leases.table.position
         self.out: list[Sent | Answered] = []
         self.due: dict[str, float] = {}
         self.leads_since: float | None = None
@@ -121,6 +141,8 @@
             self.agreed.set_peers(tuple(sorted(self.follower.sources)))
         if self._is_due("expiry", EXPIRY_S, now) and self.leases.expire(now):
             self._push(now)
+        if self._is_due("save", SAVE_S, now):
+            self._save()
         if self._is_due("seats", SEATS_S, now):
             self._look_at_seats(now)
         return self._effects(now)
@@ -274,6 +296,12 @@
                 return Endpoint(vm, self.settings.calls.port)
         return None
 
+    def _save(self) -> None:
+        table = self.leases.table
+        if table.position != self.saved_position:
+            self.saved_position = table.position
+            self.saved.save([held.record for held in table.held.values()])
+
     def _is_seated(self) -> bool:
         configuration = self.agreed.replica.core.log.configuration
         return len(configuration.voters) >= voters_for(self.settings.losses)
--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -23,20 +23,22 @@
 from kumquatmux_daemons.plain_http.server import HttpAnswer, HttpCall, serve_http
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.calls import Answer, CallFormat, Outcome
-from kumquatmux_daemons.registrar.core import Answered, RegistrarCore, Sent
+from kumquatmux_daemons.registrar.core import Answered, CoreParts, RegistrarCore, Sent
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
 from kumquatmux_daemons.running import Watch, watch_settings, watch_signals
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams, every
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
+from kumquatmux_registry.saved import SavedServers
 from kumquatmux_storage import Identity, Store, open_or_create
 from kumquatmux_storage.disk import open_folder
 
 CLUSTER = "registrar"
 FOLDER_NAME_BYTES = 8
 TICK_S = 0.05
-HEARTBEAT_S = 0.15
-ELECTION_S = 0.8
+HEARTBEAT_S = 0.12
+ELECTION_S = 0.6
+START_S = 0.15
 CLOCK_GAP_S = 0.4
 JOIN_S = 0.4
 SNAPSHOT_ENTRIES = 64
@@ -144,6 +146,7 @@
         peers=tuple(vm for vm in settings.seeds if vm != settings.vm),
         heartbeat_s=HEARTBEAT_S,
         election_timeout_s=ELECTION_S,
+        start_timeout_s=START_S,
         lease_share=0.0,
         clock_gap_s=CLOCK_GAP_S,
         join_period_s=JOIN_S,
@@ -170,7 +173,8 @@
     random = Random(secrets.randbits(64))
     agreed = Agreed(replica_settings(settings, store), store, random)
     incarnation = secrets.randbits(48)
-    core = RegistrarCore(settings, agreed, incarnation, trio.current_time())
+    core_parts = CoreParts(agreed, SavedServers(store.disk))
+    core = RegistrarCore(settings, core_parts, incarnation, trio.current_time())
     messages = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES)
     desk = Desk(core, PeerDatagrams(settings.peers, messages))
     stopping = trio.Event()
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -17,7 +17,7 @@
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_registry.table import ServerTable
 from kumquatmux_tokens.load import LoadShare
-from kumquatmux_tokens.packets import Decision, Drop, Forward, Head, Hold, Reset
+from kumquatmux_tokens.packets import Decision, Drop, Forward, Head, Hold, Reset, Wait
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.settings import TokenSettings
 
@@ -121,7 +121,7 @@
             is_searching = not self.router.routes.number
             self.poll_at = now + (SEARCH_S if is_searching else POLL_S)
             effects += [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
-        return effects + self._share(now)
+        return effects + self._share(now) + self._try_waiting(now)
 
     def _route(self, head: Head, data: bytes, now: float) -> list[Effect]:
         decision = self.router.handle(head, now)
@@ -166,10 +166,26 @@
         )
         return []
 
+    @_carry_out.register
+    def _(self, decision: Wait, head: Head, data: bytes, now: float) -> list[Effect]:
+        is_new = head.flow not in self.router.waiting.by_flow
+        if not self.router.waiting.put(head, data, now):
+            self.counts["drops.too-many-waiting"] += 1
+        elif is_new:
+            self.counts[f"openings.{decision.reason}"] += 1
+            log_decision(
+                "opening-waits",
+                flow=head.flow.hex(),
+                reason=decision.reason,
+                copy=head.copy,
+                document=self.router.routes.number,
+            )
+        return []
+
     @_carry_out.register
     def _(self, decision: Hold, head: Head, data: bytes, now: float) -> list[Effect]:
         self.counts["packets.held"] += 1
-        if not self.router.hold(head, data, now):
+        if not self.router.held.put(head, data, now):
             return []
         log_decision("token-asked", token=decision.token, flow=head.flow.hex())
         question = TokenQuestion(self.settings.vm, decision.token)
@@ -225,10 +241,19 @@
                     effects += self._route(held.head, held.data, now)
         return effects
 
+    def _try_waiting(self, now: float) -> list[Effect]:
+        """Place the opening packets that wait, as far as there are servers now."""
+        effects: list[Effect] = []
+        for held in self.router.waiting.due(now):
+            decision = self.router.handle(held.head, now)
+            if not isinstance(decision, Wait):
+                self.router.waiting.remove(held.head.flow)
+                effects += self._carry_out(decision, held.head, held.data, now)
+        return effects
+
     def _share(self, now: float) -> list[Effect]:
         others = [vm for vm in self.follower.peers if vm != self.settings.vm]
-        if not others:
-            return []
+        self.router.load.others_placing = len(others)
         share = self.router.load.share(now)
         return [Sent(vm, share) for vm in others]
 
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -25,7 +25,7 @@
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
 from kumquatmux_tokens.load import MESSAGE_TYPES as LOAD_MESSAGES
 
-TICK_S = 0.1
+TICK_S = 0.05
 
 
 class EntryParts(NamedTuple):
@@ -117,7 +117,7 @@
             "document": float(core.router.routes.number),
             "servers": float(len(core.router.directory.by_token)),
             "flows": float(len(core.router.load.flows)),
-            "held": float(core.router.held_count),
+            "held": float(core.router.held.count),
             "lines_dropped": float(sum(lines.dropped.values())),
         }
         text = metrics_text.render(counts, gauges, core.router.load.latencies)
--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -7,8 +7,24 @@
 
 from kumquatmux_registry.records import Phase
 from kumquatmux_tokens.directory import Entry
-from kumquatmux_tokens.load import LoadTable
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.load import LoadTable, SharedWork
+
+LAST_RESORT = 2
+"""Grade from which on a server is chosen only where there is no other."""
+
+
+class Opening(NamedTuple):
+    """The flow to be placed.
+
+    Attributes:
+        tried: Tokens that copies of its first packet went to.
+        is_long: Whether it is likely to carry many requests.
+        now: Steady seconds.
+    """
+
+    tried: tuple[int, ...]
+    is_long: bool
+    now: float
 
 
 class Choice(NamedTuple):
@@ -19,69 +35,92 @@
         cost: Its load in slots, with what distance and cold start add.
         candidates: How many servers were open to the choice.
         grade: 0 where it was sound, more the worse its last resort.
+        is_full: Whether more work waits at every server than finishes in time.
     """
 
     entry: Entry
     cost: float
     candidates: int
     grade: int
+    is_full: bool
+
+
+class Offer(NamedTuple):
+    """One server as it offers itself to a flow.
+
+    Attributes:
+        entry: The server.
+        grade: As in ``Choice``.
+        is_full: Whether as much work waits there as may.
+        cost: As in ``Choice``.
+        tie: Random, between servers that are equal.
+    """
+
+    entry: Entry
+    grade: int
+    is_full: bool
+    cost: float
+    tie: float
 
 
 def choose(
-    entries: list[Entry],
-    tried: tuple[int, ...],
-    load: LoadTable,
-    random: Random,
-    now: float,
+    entries: list[Entry], opening: Opening, load: LoadTable, random: Random
 ) -> Choice | None:
     """Return the server for a flow, None if no server may take it.
 
     Servers that leave or have ended are never chosen. Those that were tried already,
     left others unanswered, are late with their reports or still new come last, in
-    this order of grades.
+    this order of grades. A short flow goes where the least work is now, a long one
+    where the fewest flows are.
 
     Args:
         entries: Servers of the service.
-        tried: Tokens that copies of the flow's first packet went to.
+        opening: The flow.
         load: The work known at each server.
         random: Breaks ties.
-        now: Steady seconds.
     """
     ready = [one for one in entries if one.record.report.phase == Phase.READY]
     if not ready:
         return None
-    others = load.others(now)
-    graded = [(_grade(one, tried, load, now), one) for one in ready]
-    best = min(grade for grade, _ in graded)
-    candidates = [one for grade, one in graded if grade == best]
-    costs = [
-        (_cost(one, load, others, now), random.random(), place)
-        for place, one in enumerate(candidates)
-    ]
-    cost, _, place = min(costs)
-    return Choice(candidates[place], cost, len(candidates), best)
-
-
-def _grade(entry: Entry, tried: tuple[int, ...], load: LoadTable, now: float) -> int:
+    others = load.others(opening.now)
+    offers = [_offer(one, opening, load, others, random.random()) for one in ready]
+    best = min(offers, key=_order)
+    candidates = sum(1 for one in offers if one.grade == best.grade)
+    return Choice(best.entry, best.cost, candidates, best.grade, best.is_full)
+
+
+def _order(offer: Offer) -> tuple[bool, bool, int, float, float]:
+    is_last_resort = offer.grade >= LAST_RESORT
+    return (is_last_resort, offer.is_full, offer.grade, offer.cost, offer.tie)
+
+
+def _grade(entry: Entry, opening: Opening, load: LoadTable) -> int:
     token = entry.record.token
     work = load.work.get(token)
-    if token in tried:
+    if token in opening.tried:
         return 4
     if entry.record.is_late:
         return 3
-    if work is not None and work.avoided_until > now:
-        return 2
-    if entry.known_at > now - load.settings.settle_s:
+    if work is not None and work.avoided_until > opening.now:
+        return LAST_RESORT
+    if entry.known_at > opening.now - load.settings.settle_s:
         return 1
     return 0
 
 
-def _cost(entry: Entry, load: LoadTable, others: list, now: float) -> float:
-    settings: TokenSettings = load.settings
+def _offer(
+    entry: Entry,
+    opening: Opening,
+    load: LoadTable,
+    others: list[dict[int, SharedWork]],
+    tie: float,
+) -> Offer:
+    settings = load.settings
     report = entry.record.report
     token = entry.record.token
+    slots = max(report.slots, 1)
     own = load.work.get(token)
-    busy = own.busy if own else 0
+    busy = own.busy + own.recent * load.others_placing if own else 0
     open_flows = own.open if own else 0
     for shared in others:
         told = shared.get(token)
@@ -89,9 +128,11 @@
             busy += told.busy
             open_flows += told.open
     idle = max(open_flows - busy, 0)
-    cost = (busy + settings.open_cost * idle) / max(report.slots, 1)
-    if entry.warm_at > now:
-        cost = (cost + 1 / max(report.slots, 1)) * settings.cold_cost
+    busy_cost = settings.long_busy_cost if opening.is_long else 1.0
+    cost = (busy_cost * busy + settings.open_cost * idle) / slots
+    if entry.warm_at > opening.now:
+        cost = (cost + 1 / slots) * settings.cold_cost
     if report.zone != settings.zone:
         cost += settings.remote_cost
-    return cost
+    is_full = busy >= slots + settings.queue_depth
+    return Offer(entry, _grade(entry, opening, load), is_full, cost, tie)
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
@@ -29,6 +30,7 @@
         seen_at: When its latest packet came.
         busy_since: When the request in progress began, None for none.
         asked_ack: What the caller had of the answers when it asked.
+        has_asked: Whether it carried a request before.
         end: Place after the last byte of the caller's data.
     """
 
@@ -36,6 +38,7 @@
         "asked_ack",
         "busy_since",
         "end",
+        "has_asked",
         "is_open",
         "placed_at",
         "seen_at",
@@ -51,6 +54,7 @@
         self.seen_at = now
         self.busy_since: float | None = None
         self.asked_ack = 0
+        self.has_asked = False
         self.end = 0
 
 
@@ -60,16 +64,18 @@
     Attributes:
         busy: Requests in progress.
         open: Open flows.
+        recent: Flows placed since the others were last told.
         strikes: Opening packets in a row that it left unanswered.
         avoided_until: Until when flows go elsewhere if they can.
         answered_at: When it last showed that it answers.
     """
 
-    __slots__ = ("answered_at", "avoided_until", "busy", "open", "strikes")
+    __slots__ = ("answered_at", "avoided_until", "busy", "open", "recent", "strikes")
 
     def __init__(self) -> None:
         self.busy = 0
         self.open = 0
+        self.recent = 0
         self.strikes = 0
         self.avoided_until = -math.inf
         self.answered_at = -math.inf
@@ -111,6 +117,8 @@
     Attributes:
         flows: Flows by name.
         work: Own work by token.
+        others_placing: Other VMs of the zone that place flows at the same time,
+            each about as many as this one.
         latencies: How long callers waited for handshakes and first answers.
     """
 
@@ -119,7 +127,10 @@
         self.flows: dict[bytes, Flow] = {}
         self.work: dict[int, Work] = {}
         self.shared: dict[VmId, tuple[float, dict[int, SharedWork]]] = {}
+        self.openings: deque[tuple[float, bytes]] = deque()
+        self.long: dict[bytes, float] = {}
         self.number = 0
+        self.others_placing = 0
         self.latencies = Latencies()
 
     def work_at(self, token: int) -> Work:
@@ -129,6 +140,10 @@
             found = self.work[token] = Work()
         return found
 
+    def is_long(self, route: bytes) -> bool:
+        """Return whether flows of a route mostly carry many requests."""
+        return self.long.get(route, 0.0) > self.settings.long_share
+
     def place(self, head: Head, token: int, now: float) -> Flow:
         """Count a flow whose opening packet goes to a server."""
         flow = self.flows.get(head.flow)
@@ -145,13 +160,13 @@
             flow.tried = (*flow.tried, token)
         flow.placed_at = now
         flow.seen_at = now
+        self.work_at(token).recent += 1
         self._set_busy(flow, now)
+        self.openings.append((now, head.flow))
         return flow
 
     def strike(self, flow: Flow, now: float) -> bool:
         """Hold a copy of an opening packet against the server tried before."""
-        if now - flow.placed_at < self.settings.copy_gap_s:
-            return False
         work = self.work_at(flow.token)
         if work.answered_at > flow.placed_at:
             return False
@@ -166,6 +181,7 @@
         if flow is None:
             flow = self.flows[head.flow] = Flow(token, now)
             flow.end = head.sequence
+            flow.has_asked = True
             self.work_at(token).open += 1
         flow.seen_at = now
         if not flow.is_open:
@@ -176,6 +192,7 @@
         if head.length and _is_after(head.sequence + head.length, flow.end):
             flow.end = (head.sequence + head.length) % SEQUENCE_SPACE
             flow.asked_ack = head.acknowledged
+            self._count_request(flow, head)
             self._set_busy(flow, now)
         elif _is_after(head.acknowledged, flow.asked_ack):
             flow.asked_ack = head.acknowledged
@@ -184,6 +201,18 @@
                 self.latencies.record("first-answer", now - flow.busy_since)
             self._set_idle(flow)
 
+    def expire_openings(self, now: float) -> None:
+        """Count a placed flow as work no longer if its caller did not go on here.
+
+        The caller has given up, took another server, or its packets pass another VM.
+        """
+        limit = now - self.settings.opening_s
+        while self.openings and self.openings[0][0] < limit:
+            placed_at, key = self.openings.popleft()
+            flow = self.flows.get(key)
+            if flow and not flow.is_open and flow.placed_at == placed_at:
+                self._set_idle(flow)
+
     def sweep(self, now: float) -> None:
         """Stop counting what has been silent for long."""
         idle = now - self.settings.flow_idle_s
@@ -200,7 +229,10 @@
 
     def share(self, now: float) -> LoadShare:
         """Return what the other VMs of the zone should know."""
+        self.expire_openings(now)
         self.number += 1
+        for one in self.work.values():
+            one.recent = 0
         work = tuple(
             SharedWork(token, one.busy, one.open, one.avoided_until > now)
             for token, one in self.work.items()
@@ -237,6 +269,15 @@
         work.avoided_until = -math.inf
         work.answered_at = now
 
+    def _count_request(self, flow: Flow, head: Head) -> None:
+        """Learn whether a route's requests follow others on their flow."""
+        if flow.busy_since is not None and flow.has_asked:
+            return
+        share = self.long.get(head.route, 0.0)
+        step = self.settings.share_step
+        self.long[head.route] = share + step * (float(flow.has_asked) - share)
+        flow.has_asked = True
+
     def _set_busy(self, flow: Flow, now: float) -> None:
         if flow.busy_since is None:
             self.work_at(flow.token).busy += 1
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -53,10 +53,20 @@
     token: int
 
 
+class Wait(NamedTuple):
+    """Keep an opening packet while the caller still waits for its answer.
+
+    Attributes:
+        reason: What is missing.
+    """
+
+    reason: str
+
+
 class Drop(NamedTuple):
     """Do nothing with the packet."""
 
     reason: str
 
 
-Decision = Forward | Reset | Hold | Drop
+Decision = Forward | Reset | Hold | Wait | Drop
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -3,35 +3,21 @@
 from __future__ import annotations
 
 from random import Random
-from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName
 from kumquatmux_registry.records import ServerRecord
-from kumquatmux_tokens.choice import Choice, choose
+from kumquatmux_tokens.choice import Choice, Opening, choose
 from kumquatmux_tokens.directory import Directory
 from kumquatmux_tokens.load import LoadTable
-from kumquatmux_tokens.packets import Decision, Drop, Forward, Head, Hold, Reset
+from kumquatmux_tokens.packets import Decision, Drop, Forward, Head, Hold, Reset, Wait
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.waiting import Held, HeldTokens, WaitingOpenings
 
 ANY_SEQUENCE = 0
 
 
-class Held(NamedTuple):
-    """A packet that waits for its token to be known.
-
-    Attributes:
-        head: The packet.
-        data: Its bytes.
-        until: When it is dropped, in steady seconds.
-    """
-
-    head: Head
-    data: bytes
-    until: float
-
-
 class TokenRouter:
     """Routes a caller's packets by the token that both ends return.
 
@@ -39,7 +25,8 @@
         directory: The servers that tokens stand for.
         routes: The routes in force.
         load: The work known at each server.
-        held: Packets that wait, by token.
+        held: Packets whose token is being asked for.
+        waiting: Opening packets that no server could take yet.
     """
 
     def __init__(self, settings: TokenSettings, random: Random, now: float) -> None:
@@ -49,8 +36,8 @@
         self.directory = Directory()
         self.routes = RouteTable()
         self.load = LoadTable(settings)
-        self.held: dict[int, list[Held]] = {}
-        self.held_count = 0
+        self.held = HeldTokens(settings)
+        self.waiting = WaitingOpenings(settings)
         self.served_at: dict[ServiceName, float] = {}
 
     def handle(self, head: Head, now: float) -> Decision:
@@ -66,31 +53,13 @@
     def learn(self, record: ServerRecord, now: float) -> list[Held]:
         """Take a server's record; return the packets that waited for it."""
         self.directory.put(record, now)
-        released = self.held.pop(record.token, [])
-        self.held_count -= len(released)
-        return released
-
-    def hold(self, head: Head, data: bytes, now: float) -> bool:
-        """Keep a packet for a while; return whether its token is to be asked for."""
-        if self.held_count >= self.settings.held_packets:
-            return False
-        waiting = self.held.setdefault(head.token, [])
-        waiting.append(Held(head, data, now + self.settings.hold_s))
-        self.held_count += 1
-        return len(waiting) == 1
+        return self.held.release(record.token)
 
     def sweep(self, now: float) -> None:
         """Drop what has waited or been silent too long."""
         self.load.sweep(now)
         self.directory.forget(now - 2 * self.settings.flow_idle_s - 90.0)
-        for token, waiting in list(self.held.items()):
-            kept = [one for one in waiting if one.until > now]
-            self.held_count -= len(waiting) - len(kept)
-            if kept:
-                self.held[token] = kept
-                continue
-            del self.held[token]
-            log_decision("token-unknown", token=token, dropped=len(waiting))
+        self.held.sweep(now)
 
     def _place(self, head: Head, now: float) -> Decision:
         route = self.routes.routes.get(head.route)
@@ -99,7 +68,8 @@
         service = route.service_for(head.flow)
         flow = self.load.flows.get(head.flow)
         is_copy = flow is not None and not flow.is_open
-        if flow is not None and is_copy and head.copy:
+        is_soon = flow is not None and now - flow.placed_at < self.settings.copy_gap_s
+        if flow is not None and is_copy and head.copy and not is_soon:
             if self.load.strike(flow, now):
                 self._log_strike(head, flow.token)
         elif flow is not None and is_copy:
@@ -107,24 +77,28 @@
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, flow.token)
         tried = flow.tried if flow is not None and is_copy else ()
-        choice = self._choose(service, tried, now)
+        choice = self._choose(service, head, tried, now)
         if choice is None:
             return self._without_server(head, service, now)
         self.served_at[service] = now
+        if choice.is_full:
+            return Wait("no-slot")
         token = choice.entry.record.token
         self.load.place(head, token, now)
         self._log_placed(head, choice, now)
         return Forward(choice.entry.record, token)
 
     def _choose(
-        self, service: ServiceName, tried: tuple[int, ...], now: float
+        self, service: ServiceName, head: Head, tried: tuple[int, ...], now: float
     ) -> Choice | None:
         entries = [
             one
             for one in self.directory.servers(service)
             if one.record.token not in self.directory.clashing
         ]
-        return choose(entries, tried, self.load, self.random, now)
+        is_long = self.load.is_long(head.route)
+        opening = Opening(tried, is_long, now)
+        return choose(entries, opening, self.load, self.random)
 
     def _follow(self, head: Head, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
@@ -144,14 +118,14 @@
 
     def _without_route(self, head: Head) -> Decision:
         if not self.routes.number:
-            return Drop("no-document")
+            return Wait("no-document")
         return Reset(ANY_SEQUENCE, "no-route")
 
     def _without_server(self, head: Head, service: ServiceName, now: float) -> Decision:
-        """Refuse at once unless a server is likely to come while copies follow."""
+        """Refuse at once unless a server is likely to come while the caller waits."""
         latest = self.served_at.get(service, self.started_at)
         if latest > now - self.settings.known_s:
-            return Drop("no-server-yet")
+            return Wait("no-server-yet")
         return Reset(ANY_SEQUENCE, "no-server")
 
     def _log_placed(self, head: Head, choice: Choice, now: float) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -16,6 +16,8 @@
         flow_idle_s: Seconds without a packet after which a flow is not counted.
         busy_s: Seconds after which a request that shows no answer is not counted
             as work any more.
+        opening_s: Seconds in which a caller goes on after its opening packet was
+            sent on; then its flow counts as work no more.
         shared_for_s: Seconds for which another VM's counts are used.
         settle_s: Seconds a new server is known before flows are placed on it, so
             that the zone's other VMs know its token too.
@@ -25,6 +27,9 @@
             by then every VM runs the document that removed it.
         remote_cost: Slots' worth of work that is borne before a flow leaves its zone.
         open_cost: Slots' worth of work that an open, idle flow stands for.
+        queue_depth: Requests that may wait at a server beyond its slots before new
+            flows are kept back here; as many as are done well within an answer's
+            target.
         cold_cost: Factor on the load of a server that warms up.
         strike_s: Seconds for which a server that left an opening packet unanswered
             is avoided; doubles with each further one.
@@ -34,19 +39,28 @@
         hold_s: Seconds a packet with an unknown token is held.
         held_packets: Packets held at most.
         known_s: Seconds for which a service without any server is expected to get
-            one; its opening packets are dropped, so that their copies may find it.
+            one; its opening packets wait meanwhile.
+        patience_s: Seconds a caller waits for the answer to an opening packet.
+        copy_after_s: Seconds after the opening packet at which its copies come.
+        waiting_openings: Opening packets that wait at most.
+        long_share: Share of a route's requests that follow another one on their
+            flow, above which its flows count as long ones.
+        share_step: Weight of one request in that share.
+        long_busy_cost: Weight of the work of the moment where a long flow is placed.
     """
 
     vm: VmId
     zone: ZoneName
     flow_idle_s: float = 15.0
-    busy_s: float = 2.0
+    busy_s: float = 0.7
+    opening_s: float = 0.25
     shared_for_s: float = 0.5
     settle_s: float = 0.1
     ended_s: float = 1.0
     route_gone_s: float = 6.0
     remote_cost: float = 0.7
     open_cost: float = 0.03
+    queue_depth: int = 6
     cold_cost: float = 1.6
     strike_s: float = 0.5
     strike_max_s: float = 4.0
@@ -54,3 +68,9 @@
     hold_s: float = 0.4
     held_packets: int = 256
     known_s: float = 5.0
+    patience_s: float = 1.4
+    copy_after_s: tuple[float, ...] = (0.0, 0.2, 0.6)
+    waiting_openings: int = 2048
+    long_share: float = 0.5
+    share_step: float = 0.05
+    long_busy_cost: float = 0.25
