Refute a doubt about a server whatever report it speaks of

Cause: after a cut of a zone longer than 6 s the other side's servers stayed late for good: a doubt names an older report than the holder's own record, so the holder's merge ignored it and told nothing. Ruled out: reports not arriving (the holder's own record was renewed each second). Change: a holder that hears a doubted server tells its newest record again.

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -18,6 +18,7 @@
 from kumquatmux_agreement.events import (
     Apply,
     ChangeMembership,
+    HandOver,
     Outcome,
     Persist,
     Persisted,
@@ -39,6 +40,7 @@
     JoinRequest,
     SnapshotChunk,
     SnapshotReply,
+    StandNow,
     VoteReply,
     VoteRequest,
 )
@@ -142,6 +144,7 @@
         SnapshotChunk: SnapshotChunk("lab", A, B, 1, 9, 1, THREE, 0, 3, b"abc", 2),
         SnapshotReply: SnapshotReply("lab", A, B, 1, 9, 3, 2),
         JoinRequest: JoinRequest("lab", A),
+        StandNow: StandNow("lab", A, B, 1),
     }
     assert set(samples) == set(MESSAGE_TYPES.values())
     for message in samples.values():
@@ -524,3 +527,56 @@
     sent = driver.sent(AppendRequest)
     assert len(sent) <= 2 * 2 * 10 + 2
     assert max(len(MESSAGES.encode(one)) for one in sent) < 100
+
+
+def test_a_leader_that_stops_hands_over_to_a_voter_with_the_whole_log():
+    driver = leader()
+    driver.give(HandOver())
+    asked = driver.sent(StandNow)
+    assert len(asked) == 1
+    assert asked[0].to in (B, C)
+
+
+def test_a_leader_hands_over_to_nobody_who_lacks_an_entry():
+    driver = leader()
+    driver.give(Propose(b"x", "t"))
+    driver.give(HandOver())
+    assert driver.sent(StandNow) == []
+
+
+def test_a_voter_stands_at_once_when_the_leader_asks_it():
+    driver = Driver(me=B, restored=state(term=2))
+    driver.give(Received(append(sender=A, to=B)))
+    driver.give(Received(StandNow("lab", A, B, 2)))
+    driver.sync()
+    requests = driver.sent(VoteRequest)
+    assert {one.term for one in requests} == {3}
+    assert all(one.is_handover and not one.is_trial for one in requests)
+
+
+def test_an_old_request_to_stand_is_ignored():
+    driver = Driver(me=B, restored=state(term=3))
+    assert driver.give(Received(StandNow("lab", A, B, 2))) == []
+
+
+@pytest.mark.parametrize("is_handover", [False, True])
+def test_a_vote_against_a_live_leader_is_given_only_at_a_handover(is_handover):
+    voter = Driver(me=C, restored=state(term=2))
+    voter.give(Received(append(sender=A, to=C)))
+    request = ask_vote(term=3, sender=B, to=C)._replace(is_handover=is_handover)
+    voter.give(Received(request))
+    voter.sync()
+    assert voter.sent(VoteReply)[-1].is_granted == is_handover
+
+
+def test_a_replica_without_leases_stands_soon_after_its_start():
+    driver = Driver(lease_share=0.0, start_timeout_s=0.15)
+    driver.give(Tick())
+    assert driver.role() == Role.FOLLOWER
+    driver.give(Tick(), after=0.31)
+    assert driver.role() == Role.CANDIDATE
+
+
+def test_a_short_start_is_refused_where_a_leader_reads_under_a_lease():
+    with pytest.raises(ValueError, match="lease"):
+        Driver(start_timeout_s=0.1)
--- /dev/null
+++ b/libs/core/tests/test_lines.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+import json
+import os
+
+import pytest
+
+from kumquatmux_core.lines import LineSettings, LineWriter
+
+
+@pytest.fixture
+def pipe():
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def read_lines(reading):
+    return [json.loads(line) for line in os.read(reading, 1 << 20).splitlines()]
+
+
+def test_a_line_holds_time_event_vm_and_fields(pipe):
+    reading, writing = pipe
+    lines = LineWriter(LineSettings(writing), "e1")
+    lines.tick(3.25)
+    lines.put("flow-placed", {"token": 7, "server": ("i-1", 2)})
+    lines.flush()
+    assert read_lines(reading) == [
+        {
+            "t": 3.25,
+            "event": "flow-placed",
+            "vm": "e1",
+            "token": 7,
+            "server": "('i-1', 2)",
+        }
+    ]
+
+
+def test_lines_of_one_kind_beyond_their_limit_are_counted_and_told(pipe):
+    reading, writing = pipe
+    lines = LineWriter(LineSettings(writing, lines_per_s=2), "e1")
+    lines.tick(1.0)
+    for _ in range(5):
+        lines.put("noise", {})
+    lines.put("signal", {})
+    lines.tick(2.0)
+    events = [line["event"] for line in read_lines(reading)]
+    assert events == ["noise", "noise", "signal", "lines-dropped"]
+    assert lines.dropped["noise"] == 3
+
+
+def test_a_stream_that_takes_nothing_never_blocks_and_bounds_what_waits(pipe):
+    _, writing = pipe
+    settings = LineSettings(writing, waiting_lines=50, lines_per_s=100_000)
+    lines = LineWriter(settings, "e1")
+    lines.tick(1.0)
+    for _ in range(4000):
+        lines.put("noise", {"text": "x" * 200})
+        lines.flush()
+    assert len(lines.waiting) <= 50
+    assert len(lines.rest) <= 50 * 256 + 300
+    assert lines.dropped["stream-slow"] > 0
+
+
+def test_a_stream_that_is_gone_is_survived():
+    reading, writing = os.pipe()
+    os.close(reading)
+    lines = LineWriter(LineSettings(writing), "e1")
+    lines.put("noise", {})
+    lines.flush()
+    assert lines.dropped["stream-failed"] == 1
+    os.close(writing)
--- a/libs/lab/src/kumquatmux_lab/soak.py
+++ b/libs/lab/src/kumquatmux_lab/soak.py
@@ -12,7 +12,7 @@
 from kumquatmux_core import decisions
 from kumquatmux_lab.faultruns.report import RunReport
 
-WHOLE_NAMES = ("settings", "flows", "membership", "site")
+WHOLE_NAMES = ("settings", "flows", "membership", "site", "registrar")
 MODULE_PREFIX = "kumquatmux_lab.faultruns."
 RUNS_A_TASK = 4
 
--- /dev/null
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -0,0 +1,155 @@
+"""Fault runs of registrars, and product mutations that their checkers must find."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+import pytest
+
+from kumquatmux_core import decisions
+from kumquatmux_core.identity import VmId, ZoneName
+from kumquatmux_daemons.registrar.calls import Outcome, PutDocument, ReadDocument
+from kumquatmux_daemons.registrar.core import RegistrarCore
+from kumquatmux_lab.faultruns import registrar
+from kumquatmux_lab.faultruns.registrar_world import Control, Entry, World
+from kumquatmux_registry.leases import Leases
+from kumquatmux_settings.documents import DocumentLog, NumberedDocument
+
+SEEDS = (VmId("c-a"), VmId("c-b"), VmId("c-c"))
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    decisions.configure(as_json=False, enabled=False)
+    yield
+    decisions.configure(as_json=False)
+
+
+@pytest.fixture
+def world():
+    made = World(Random(5), SEEDS)
+    for vm in SEEDS:
+        zone = ZoneName(vm[-1])
+        made.add(Control(vm, zone), founds=vm == "c-a")
+        made.add(Entry(VmId(f"e-{zone}"), zone))
+    made.run_until(2.0)
+    return made
+
+
+def leader_of(world):
+    leads = [one for one in world.controls() if one.core and one.core.agreed.is_leader]
+    return leads[0].vm if len(leads) == 1 else None
+
+
+def asked(world, vm, call, within_s=1.0):
+    answers = []
+    world.call(vm, call, answers.append)
+    world.run_until(world.now + within_s)
+    return answers[0] if answers else None
+
+
+@pytest.mark.parametrize("seed", [1, 2, 4, 9])
+def test_no_promise_is_broken(seed):
+    assert registrar.run(seed).violations == ()
+
+
+def test_a_change_is_in_force_on_every_entry_vm_within_a_second(world):
+    answer = asked(world, leader_of(world), PutDocument(4, b"4 x"), within_s=1.0)
+    assert answer.outcome == Outcome.DONE
+    held = {one.core.follower.document.number for one in world.entries()}
+    assert held == {4}
+
+
+def test_an_overtaken_change_is_acknowledged_by_every_control_vm(world):
+    asked(world, leader_of(world), PutDocument(4, b"4 x"))
+    for vm in SEEDS:
+        assert asked(world, vm, PutDocument(3, b"3 x")).outcome == Outcome.DONE
+        assert asked(world, vm, PutDocument(4, b"4 y")).outcome == Outcome.DONE
+    assert asked(world, leader_of(world), ReadDocument()).content == b"4 x"
+
+
+def test_others_send_callers_to_the_leader(world):
+    leader = leader_of(world)
+    other = next(vm for vm in SEEDS if vm != leader)
+    answer = asked(world, other, PutDocument(4, b"4 x"))
+    assert (answer.outcome, answer.leader) == (Outcome.ELSEWHERE, leader)
+
+
+def test_a_leader_that_is_cut_off_neither_acknowledges_nor_reads(world):
+    leader = leader_of(world)
+    asked(world, leader, PutDocument(4, b"4 x"))
+    others = [vm for vm in SEEDS if vm != leader]
+    world.cuts |= {(leader, vm) for vm in others} | {(vm, leader) for vm in others}
+    answers = []
+    world.call(leader, ReadDocument(), answers.append)
+    world.call(leader, PutDocument(5, b"5 x"), answers.append)
+    world.run_until(world.now + 3.0)
+    assert {one.outcome for one in answers} == {Outcome.UNAVAILABLE}
+
+
+def test_a_leader_that_stops_is_followed_within_a_heartbeat_or_two(world):
+    leader = leader_of(world)
+    core = world.nodes[leader].core
+    world._carry_out(leader, core.stop(world.clock(leader)))
+    world.run_until(world.now + 0.3)
+    assert leader_of(world) not in (None, leader)
+
+
+def test_a_lost_disk_is_made_good_within_the_time_to_catch_up(world):
+    leader = leader_of(world)
+    asked(world, leader, PutDocument(4, b"4 x"))
+    world.stop(leader, wipe=True)
+    world.run_until(world.now + 0.5)
+    world.start(leader)
+    world.run_until(world.now + 4.0)
+    status = world.nodes[leader_of(world)].core.agreed.replica.status()
+    assert status.is_whole
+
+
+def test_a_vm_at_another_address_takes_the_seat_of_one_that_is_gone(world):
+    victim = next(vm for vm in SEEDS if vm != leader_of(world))
+    world.stop(victim)
+    del world.nodes[victim]
+    world.add(Control(VmId("c-new"), ZoneName(victim[-1])))
+    world.run_until(world.now + 4.0)
+    status = world.nodes[leader_of(world)].core.agreed.replica.status()
+    assert status.is_whole
+    assert "c-new" in status.configuration.vms
+
+
+def test_documents_and_servers_are_back_soon_after_all_lost_power(world):
+    asked(world, leader_of(world), PutDocument(4, b"4 x"))
+    for vm in list(world.nodes):
+        world.stop(vm, power=True)
+    world.run_until(world.now + 1.0)
+    for vm in list(world.nodes):
+        world.start(vm)
+    world.run_until(world.now + 0.7)
+    held = {one.core.follower.document.number for one in world.entries()}
+    assert held == {4}
+    assert all(one.core.is_ready(world.now) for one in world.entries())
+
+
+def any_order(self, data):
+    self.newest = msgspec.msgpack.decode(data, type=NumberedDocument)
+    return True
+
+
+def stale_read(self, token):
+    self._answer_read(token)
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "broken", "seed", "found"),
+    [
+        (DocumentLog, "apply", any_order, 1, "two contents"),
+        (RegistrarCore, "_elsewhere", stale_read, 1, "a read gave"),
+        (Leases, "_refutes", lambda *_: False, 28, "misses"),
+    ],
+    ids=["last one wins", "reads without a quorum", "doubts stay"],
+)
+def test_a_broken_product_is_found(monkeypatch, owner, name, broken, seed, found):
+    monkeypatch.setattr(owner, name, broken)
+    violations = registrar.run(seed).violations
+    assert any(found in text for text in violations)
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -69,14 +69,11 @@
 
     def merge(self, record: ServerRecord, now: float) -> bool:
         """Take a record of another control VM; return whether it is news."""
-        changed = self.table.merge(record, now)
-        if not changed:
-            return False
-        heard = self.heard.get(record.report.lifetime.name, -math.inf)
-        is_mine = record.holder == self.me and record.is_late
-        if is_mine and heard > now - self.settings.late_after_s:
-            self.table.merge(record.doubted(), now)
-        return True
+        changed = bool(self.table.merge(record, now))
+        if record.is_late and self._refutes(record, now):
+            self.table.renew(record.report.lifetime.name, now)
+            return True
+        return changed
 
     def hear_holder(self, holder: VmId, now: float) -> None:
         """Note that another control VM is there."""
@@ -94,6 +91,16 @@
         self.table.forget(now - self.settings.forget_after_s)
         return is_news
 
+    def _refutes(self, doubted: ServerRecord, now: float) -> bool:
+        """Return whether a doubted server reports here."""
+        name = doubted.report.lifetime.name
+        known = self.table.get(name)
+        if known is None or known.report.lifetime != doubted.report.lifetime:
+            return False
+        heard = self.heard.get(name, -math.inf)
+        is_heard = heard > now - self.settings.late_after_s
+        return known.holder == self.me and is_heard
+
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
         if record.holder == self.me:
             heard = self.heard.get(record.report.lifetime.name, changed_at)
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -55,6 +55,11 @@
             changed += self._take_address(record, now)
         return changed
 
+    def renew(self, name: str, now: float) -> None:
+        """Tell of a server again, with any doubt about it refuted."""
+        record = self.held[name].record
+        self._put(record.doubted() if record.is_late else record, now)
+
     def after(self, position: int, limit: int) -> list[Held]:
         """Return the oldest changes after a position, up to a limit."""
         newer = [held for held in self.held.values() if held.position > position]
--- /dev/null
+++ b/libs/registry/tests/test_feed.py
@@ -0,0 +1,149 @@
+from __future__ import annotations
+
+from kumquatmux_core.codec import registry
+from kumquatmux_core.identity import Endpoint
+from kumquatmux_registry.feed import MESSAGE_TYPES
+from kumquatmux_registry.follower import Follower, FollowerSettings
+from kumquatmux_registry.leases import Leases
+from kumquatmux_registry.publisher import Document, Publisher, PublisherSettings
+from kumquatmux_registry.records import Lifetime, Phase, Report
+from kumquatmux_registry.settings import RegistrySettings
+
+CODEC = registry(MESSAGE_TYPES)
+
+
+def report(name):
+    place = Endpoint("10.0.0.9", int(name[2:]))
+    return Report(
+        Lifetime(name, 1), 1, "entries", place, "a", "v1", 2, Phase.READY, 0.0
+    )
+
+
+def publisher(vm="c1", zone="a", incarnation=7, page=64):
+    leases = Leases(RegistrySettings(page_records=page), vm)
+    return Publisher(PublisherSettings(vm, zone, incarnation), leases)
+
+
+def follower(seeds=("c1",), zone="a"):
+    return Follower(FollowerSettings("e1", zone, False, seeds, page_records=2))
+
+
+def exchange(one, other, now):
+    """Poll once and return the answers, through the codec."""
+    answers = []
+    for vm, poll in one.polls(now):
+        if vm == other.settings.vm:
+            answer = CODEC.decode(CODEC.encode(other.answer(poll, now))).ok
+            one.take(answer, now)
+            answers.append(answer)
+    return answers
+
+
+def test_a_follower_gets_records_and_the_document_once():
+    source = publisher()
+    source.leases.report(report("i-1"), 0.0)
+    source.document = Document(4, b"four")
+    mine = follower()
+    first = exchange(mine, source, 1.0)[0]
+    assert [one.report.lifetime.name for one in first.records] == ["i-1"]
+    assert mine.document == Document(4, b"four")
+    second = exchange(mine, source, 2.0)[0]
+    assert second.records == ()
+    assert second.content == b""
+
+
+def test_a_push_that_was_lost_is_made_good_by_the_next_poll():
+    source = publisher()
+    mine = follower()
+    exchange(mine, source, 0.0)
+    exchange(mine, source, 0.5)
+    source.leases.report(report("i-1"), 0.6)
+    source.document = Document(4, b"four")
+    pushed = source.push(0.6)
+    assert pushed[0][0] == "e1"
+    assert pushed[0][1].content == b"four"
+    answer = exchange(mine, source, 1.0)[0]
+    assert len(answer.records) == 1
+    assert mine.document.number == 4
+
+
+def test_a_document_is_not_pushed_twice_before_the_next_poll():
+    source = publisher()
+    mine = follower()
+    exchange(mine, source, 0.0)
+    source.document = Document(4, b"four")
+    assert source.push(0.1)[0][1].content == b"four"
+    assert source.push(0.2)[0][1].content == b""
+
+
+def test_records_come_in_pages_until_all_are_there():
+    source = publisher(page=2)
+    for number in range(1, 6):
+        source.leases.report(report(f"i-{number}"), 0.0)
+    mine = follower()
+    names = []
+    for at in range(4):
+        answer = exchange(mine, source, float(at))[0]
+        names += [one.report.lifetime.name for one in answer.records]
+        assert mine.has_more(answer) == (len(answer.records) == 2)
+    assert names == ["i-1", "i-2", "i-3", "i-4", "i-5"]
+
+
+def test_a_restarted_source_is_read_from_its_beginning():
+    mine = follower()
+    before = publisher(incarnation=7)
+    before.leases.report(report("i-1"), 0.0)
+    exchange(mine, before, 0.0)
+    after = publisher(incarnation=8)
+    after.leases.report(report("i-2"), 1.0)
+    exchange(mine, after, 1.0)
+    answer = exchange(mine, after, 2.0)
+    assert mine.sources["c1"].position == 1
+    assert answer[0].records == ()
+
+
+def test_an_older_document_never_replaces_a_newer_one():
+    mine = follower(seeds=("c1", "c2"))
+    newer, older = publisher("c1"), publisher("c2", incarnation=9)
+    newer.document, older.document = Document(9, b"nine"), Document(8, b"eight")
+    exchange(mine, newer, 0.0)
+    exchange(mine, older, 0.1)
+    assert mine.document.number == 9
+
+
+def test_the_primary_is_near_and_current_before_it_is_near():
+    mine = follower(seeds=("c1", "c2"))
+    near, far = publisher("c1", "a"), publisher("c2", "b")
+    near.is_current = far.is_current = True
+    exchange(mine, near, 0.0)
+    exchange(mine, far, 0.0)
+    assert mine.primary(0.1) == "c1"
+    near.is_current = False
+    exchange(mine, near, 0.2)
+    assert mine.primary(0.3) == "c2"
+
+
+def test_a_silent_source_is_not_relied_on():
+    mine = follower()
+    source = publisher()
+    source.is_current = True
+    exchange(mine, source, 0.0)
+    assert mine.is_fed(1.0)
+    assert not mine.is_fed(1.3)
+    assert mine.primary(1.3) is None
+
+
+def test_control_vms_that_others_name_are_followed_too():
+    mine = follower(seeds=("c1",))
+    source = publisher("c1")
+    poll = Follower(FollowerSettings("c2", "b", True, ("c1",))).polls(0.0)[0][1]
+    source.answer(poll, 0.0)
+    exchange(mine, source, 0.0)
+    assert set(mine.sources) == {"c1", "c2"}
+
+
+def test_a_follower_that_fell_silent_gets_no_pushes():
+    source = publisher()
+    exchange(follower(), source, 0.0)
+    assert source.push(2.9)
+    assert source.push(3.1) == []
--- /dev/null
+++ b/libs/tokens/tests/test_choice.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+from random import Random
+
+from kumquatmux_core.identity import Endpoint
+from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
+from kumquatmux_tokens.choice import Opening, choose
+from kumquatmux_tokens.directory import Directory
+from kumquatmux_tokens.load import LoadShare, LoadTable, SharedWork
+from kumquatmux_tokens.settings import TokenSettings
+
+NOW = 10.0
+SHORT = Opening((), False, NOW)
+LONG = Opening((), True, NOW)
+
+
+def server(name, zone="a", slots=2, warm_up_s=0.0, doubts=0, phase=Phase.READY):
+    place = Endpoint("10.0.0.9", int(name[2:]))
+    report = Report(
+        Lifetime(name, 1), 1, "entries", place, zone, "v1", slots, phase, warm_up_s
+    )
+    return ServerRecord(report, "c1", doubts)
+
+
+def chosen(records, busy=(), opening=SHORT, known_at=0.0, open_flows=(), shared=None):
+    """Return the name of the server chosen, given work by name."""
+    directory = Directory()
+    load = LoadTable(TokenSettings("e1", "a"))
+    for record in records:
+        directory.put(record, known_at)
+    for name, count in dict(busy).items():
+        load.work_at(Lifetime(name, 1).token).busy = count
+    for name, count in dict(open_flows).items():
+        load.work_at(Lifetime(name, 1).token).open = count
+    if shared:
+        load.take_share(shared, NOW)
+    choice = choose(directory.servers("entries"), opening, load, Random(1))
+    return choice and choice.entry.record.report.lifetime.name
+
+
+def test_the_server_with_the_least_work_takes_a_short_flow():
+    assert chosen([server("i-1"), server("i-2")], {"i-1": 1}) == "i-2"
+
+
+def test_work_counts_by_slots():
+    records = [server("i-1", slots=8), server("i-2", slots=2)]
+    assert chosen(records, {"i-1": 2, "i-2": 1}) == "i-1"
+
+
+def test_the_work_that_other_vms_see_counts_too():
+    token = Lifetime("i-1", 1).token
+    shared = LoadShare("e2", 1, (SharedWork(token, 3, 3, False),))
+    assert chosen([server("i-1"), server("i-2")], {"i-2": 1}, shared=shared) == "i-2"
+
+
+def test_a_flow_stays_in_its_zone_until_its_servers_are_busy():
+    records = [server("i-1", "a"), server("i-2", "b")]
+    assert chosen(records, {"i-1": 1}) == "i-1"
+    assert chosen(records, {"i-1": 3}) == "i-2"
+
+
+def test_a_long_flow_goes_where_the_fewest_flows_are_whatever_is_busy_now():
+    records = [server("i-1"), server("i-2")]
+    work = {"busy": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
+    assert chosen(records, opening=LONG, **work) == "i-1"
+
+
+def test_a_long_flow_does_not_leave_its_zone_for_a_moments_work():
+    records = [server("i-1", "a"), server("i-2", "b")]
+    assert chosen(records, {"i-1": 3}, opening=LONG) == "i-1"
+
+
+def test_a_server_that_warms_up_gets_less():
+    records = [server("i-1", warm_up_s=30.0), server("i-2")]
+    assert chosen(records, {"i-2": 1}) == "i-2"
+    assert chosen(records, {"i-2": 2}) == "i-1"
+
+
+def test_last_resorts_come_in_their_order():
+    late, tried, fine = server("i-1", doubts=1), server("i-2"), server("i-3")
+    after = Opening((tried.token,), False, NOW)
+    assert chosen([late, tried, fine], {"i-3": 5}, opening=after) == "i-3"
+    assert chosen([late, tried], opening=after) == "i-1"
+    assert chosen([tried], opening=after) == "i-2"
+
+
+def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
+    known = [server("i-1", "b")]
+    assert chosen(known, known_at=NOW - 0.05) == "i-1"
+    directory = Directory()
+    directory.put(server("i-1"), NOW - 0.05)
+    directory.put(server("i-2", "b"), 0.0)
+    load = LoadTable(TokenSettings("e1", "a"))
+    choice = choose(directory.servers("entries"), SHORT, load, Random(1))
+    assert choice.entry.record.report.lifetime.name == "i-2"
+
+
+def test_servers_that_leave_or_have_ended_are_no_choice():
+    leaving = server("i-1", phase=Phase.DRAINING)
+    over = server("i-2", phase=Phase.ENDED)
+    assert chosen([leaving, over]) is None
--- /dev/null
+++ b/libs/tokens/tests/test_load.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+import pytest
+
+from kumquatmux_tokens.load import LoadTable
+from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.settings import TokenSettings
+
+ROUTE = bytes([198, 18, 0, 1, 1, 187])
+FLOW = bytes(6) + ROUTE
+SYN = Head(FLOW, ROUTE, 0, True, False, 0, 100, 0, 0)
+
+
+def packet(sequence=101, acknowledged=500, length=0, closing=False):
+    return Head(FLOW, ROUTE, 7, False, closing, 0, sequence, acknowledged, length)
+
+
+@pytest.fixture
+def load():
+    table = LoadTable(TokenSettings("e1", "a"))
+    table.place(SYN, 7, 0.0)
+    return table
+
+
+def test_a_placed_flow_counts_as_work_until_its_caller_went_on_elsewhere(load):
+    assert load.work[7].busy == 1
+    load.expire_openings(0.2)
+    assert load.work[7].busy == 1
+    load.expire_openings(0.3)
+    assert load.work[7].busy == 0
+
+
+def test_a_request_counts_until_the_caller_acknowledges_the_answer(load):
+    load.note(packet(length=900), 7, 0.01)
+    load.note(packet(sequence=1001), 7, 0.02)
+    assert load.work[7].busy == 1
+    load.note(packet(sequence=1001, acknowledged=1700), 7, 0.05)
+    assert load.work[7].busy == 0
+    assert load.work[7].open == 1
+
+
+def test_a_retransmission_is_no_further_request(load):
+    load.note(packet(length=900), 7, 0.01)
+    load.note(packet(sequence=1001, acknowledged=1700), 7, 0.05)
+    load.note(packet(length=900, acknowledged=1700), 7, 0.3)
+    assert load.work[7].busy == 0
+
+
+def test_a_close_ends_flow_and_work(load):
+    load.note(packet(length=900), 7, 0.01)
+    load.note(packet(sequence=1001, closing=True), 7, 0.02)
+    assert (load.work[7].busy, load.work[7].open) == (0, 0)
+
+
+def test_a_request_without_a_sign_is_not_counted_for_long(load):
+    load.note(packet(length=900), 7, 0.01)
+    load.sweep(0.6)
+    assert load.work[7].busy == 1
+    load.sweep(0.8)
+    assert load.work[7].busy == 0
+
+
+def test_an_idle_flow_is_forgotten(load):
+    load.note(packet(length=900), 7, 0.01)
+    load.sweep(16.0)
+    assert load.flows == {}
+
+
+def test_sequences_go_on_around_their_end(load):
+    load.note(packet(sequence=0xFFFFFFF0, length=0), 7, 0.01)
+    load.note(packet(sequence=0xFFFFFFF0, length=32), 7, 0.02)
+    load.note(packet(sequence=16, acknowledged=900), 7, 0.03)
+    assert load.work[7].busy == 0
+    load.note(packet(sequence=16, acknowledged=900, length=32), 7, 0.04)
+    assert load.work[7].busy == 1
+
+
+def test_a_route_whose_flows_carry_many_requests_is_long(load):
+    assert not load.is_long(ROUTE)
+    for number in range(40):
+        sequence = 101 + number * 10
+        load.note(packet(sequence, 500 + number, length=10), 7, number * 1.0)
+        load.note(packet(sequence + 10, 501 + number), 7, number + 0.5)
+    assert load.is_long(ROUTE)
+
+
+def test_what_one_vm_shares_the_other_uses_for_a_while(load):
+    other = LoadTable(TokenSettings("e2", "a"))
+    other.take_share(load.share(0.1), 0.1)
+    assert other.others(0.5)[0][7].busy == 1
+    assert other.others(0.7) == []
+
+
+def test_flows_placed_lately_are_counted_until_the_others_are_told(load):
+    assert load.work[7].recent == 1
+    load.share(0.1)
+    assert load.work[7].recent == 0
--- /dev/null
+++ b/libs/tokens/tests/test_router.py
@@ -0,0 +1,252 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatmux_core.identity import Endpoint
+from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
+from kumquatmux_tokens.packets import Drop, Forward, Head, Hold, Reset, Wait
+from kumquatmux_tokens.router import TokenRouter
+from kumquatmux_tokens.routes import Route, RouteSet, Share
+from kumquatmux_tokens.settings import TokenSettings
+
+ROUTE = bytes([198, 18, 0, 1, 1, 187])
+OTHER = bytes([198, 18, 0, 2, 1, 187])
+SETTLED = 10.0
+
+
+def server(name="i-1", born=1, number=1, service="entries", zone="a", **other):
+    place = Endpoint("10.0.0.9", int(name[2:]))
+    lifetime = Lifetime(name, born)
+    report = Report(lifetime, number, service, place, zone, "v1", 2, Phase.READY, 0.0)
+    return ServerRecord(report._replace(**other), "c1")
+
+
+def routes(number=1, **services):
+    found = services or {"entries": ROUTE}
+    table = tuple(
+        Route(name, address, (Share(name, 1),)) for name, address in found.items()
+    )
+    return RouteSet(number, table, frozenset(found), 15.0)
+
+
+def flow_of(caller, route):
+    return bytes([100, 64, 0, 1]) + caller.to_bytes(2) + route
+
+
+def opening(caller=1, copy=0, route=ROUTE):
+    return Head(flow_of(caller, route), route, 0, True, False, copy, 100, copy, 0)
+
+
+def data(token, caller=1, route=ROUTE, sequence=101, acknowledged=500, length=9):
+    flow = flow_of(caller, route)
+    return Head(flow, route, token, False, False, 0, sequence, acknowledged, length)
+
+
+def router(*servers, now=0.0, number=1):
+    made = TokenRouter(TokenSettings("e1", "a"), Random(1), now)
+    made.install(routes(number), now)
+    for one in servers:
+        made.learn(one, now)
+    return made
+
+
+def test_an_opening_packet_goes_to_a_server_of_the_routes_service():
+    mine = server("i-1")
+    made = router(mine, server("i-2", service="pagesetter"))
+    assert made.handle(opening(), SETTLED) == Forward(mine, mine.token)
+
+
+def test_later_packets_follow_their_token_without_any_record():
+    mine = server("i-1")
+    made = router(mine, server("i-2"))
+    assert made.handle(data(mine.token), SETTLED) == Forward(mine, mine.token)
+
+
+def test_an_unknown_token_is_asked_for_and_never_guessed():
+    made = router(server("i-1"))
+    assert made.handle(data(77), SETTLED) == Hold(77)
+    assert made.handle(data(0), SETTLED) == Drop("no-token")
+
+
+def test_held_packets_are_released_when_their_server_is_known():
+    mine = server("i-3")
+    made = router(server("i-1"))
+    head = data(mine.token)
+    assert made.held.put(head, b"one", SETTLED) is True
+    assert made.held.put(head, b"two", SETTLED) is False
+    released = made.learn(mine, SETTLED + 0.1)
+    assert [held.data for held in released] == [b"one", b"two"]
+    assert made.held.count == 0
+
+
+def test_held_packets_are_dropped_after_a_while():
+    made = router()
+    made.held.put(data(77), b"one", SETTLED)
+    made.sweep(SETTLED + 0.5)
+    assert made.held.count == 0
+
+
+def test_a_route_that_never_was_is_refused_at_once():
+    made = router(server("i-1"))
+    assert made.handle(opening(route=OTHER), SETTLED) == Reset(0, "no-route")
+
+
+def test_openings_wait_until_a_document_is_there():
+    made = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
+    assert made.handle(opening(), SETTLED) == Wait("no-document")
+
+
+def test_openings_wait_for_a_first_server_and_are_refused_when_none_comes():
+    made = router(now=0.0)
+    assert made.handle(opening(), 4.0) == Wait("no-server-yet")
+    assert made.handle(opening(), 6.0) == Reset(0, "no-server")
+
+
+def test_a_leaving_server_gets_no_new_flow_and_keeps_its_open_ones():
+    leaving = server("i-1", phase=Phase.DRAINING, number=2)
+    staying = server("i-2")
+    made = router(leaving, staying)
+    for caller in range(6):
+        decision = made.handle(opening(caller), SETTLED)
+        assert decision.server == staying
+    assert made.handle(data(leaving.token), SETTLED).server == leaving
+
+
+def test_flows_of_an_ended_server_are_reset_after_a_moment():
+    made = router(server("i-1"))
+    over = server("i-1", number=2, phase=Phase.ENDED)
+    made.learn(over, SETTLED)
+    token = over.token
+    assert isinstance(made.handle(data(token), SETTLED + 0.5), Forward)
+    assert made.handle(data(token, acknowledged=640), SETTLED + 1.1) == Reset(
+        640, "server-ended"
+    )
+
+
+def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
+    before, after = server("i-1", born=1), server("i-1", born=2)
+    made = router(before)
+    made.learn(after, SETTLED)
+    later = SETTLED + 1.1
+    assert isinstance(made.handle(data(before.token), later), Reset)
+    assert made.handle(data(after.token), later).server == after
+
+
+def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
+    mine = server("i-1")
+    made = router(mine)
+    made.install(routes(2, pagesetter=OTHER), SETTLED)
+    assert made.handle(opening(), SETTLED) == Reset(0, "no-route")
+    assert isinstance(made.handle(data(mine.token), SETTLED + 5.0), Forward)
+    assert made.handle(data(mine.token), SETTLED + 6.1) == Reset(500, "route-removed")
+
+
+def test_a_document_with_a_lower_number_changes_nothing():
+    made = router(server("i-1"), number=5)
+    assert made.install(routes(4, pagesetter=OTHER), SETTLED) is False
+    assert isinstance(made.handle(opening(), SETTLED), Forward)
+
+
+def test_a_copy_of_an_opening_packet_goes_to_another_server():
+    first, second = server("i-1"), server("i-2")
+    made = router(first, second)
+    one = made.handle(opening(), SETTLED).server
+    two = made.handle(opening(copy=1), SETTLED + 0.2).server
+    assert {one, two} == {first, second}
+
+
+def test_the_same_opening_packet_twice_goes_to_the_same_server():
+    made = router(server("i-1"), server("i-2"))
+    one = made.handle(opening(), SETTLED)
+    assert made.handle(opening(), SETTLED + 0.01) == one
+
+
+def test_a_copy_that_comes_right_behind_says_nothing_about_the_server():
+    made = router(server("i-1"), server("i-2"))
+    one = made.handle(opening(), SETTLED)
+    assert made.handle(opening(copy=1), SETTLED + 0.05) == one
+    assert made.load.work[one.token].strikes == 0
+
+
+def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
+    dead, alive = server("i-1"), server("i-2")
+    made = router(dead, alive)
+    made.load.work_at(alive.token).busy = 1
+    assert made.handle(opening(1), SETTLED).server == dead
+    made.handle(opening(1, copy=1), SETTLED + 0.2)
+    assert made.handle(opening(2), SETTLED + 0.3).server == alive
+    assert made.handle(opening(3), SETTLED + 0.9).server == dead
+
+
+def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
+    made = router(server("i-1"), server("i-2"))
+    one = made.handle(opening(), SETTLED)
+    two = made.handle(opening(copy=1), SETTLED + 0.2)
+    assert made.handle(data(one.token), SETTLED + 0.3).server == one.server
+    late = made.handle(data(two.token, sequence=110), SETTLED + 0.4)
+    assert late == Forward(one.server, one.token)
+
+
+def test_servers_whose_tokens_clash_get_no_new_flow(monkeypatch):
+    made = router(server("i-1"))
+    monkeypatch.setattr(Lifetime, "token", property(lambda self: 5))
+    made.learn(server("i-2"), 0.0)
+    made.learn(server("i-3"), 0.0)
+    made.directory.by_service["entries"] = {
+        token: one
+        for token, one in made.directory.by_service["entries"].items()
+        if token == 5
+    }
+    assert made.directory.clashing == {5}
+    assert made.handle(opening(), 3.0) == Wait("no-server-yet")
+
+
+def test_new_flows_wait_when_every_server_has_much_work_waiting():
+    mine = server("i-1")
+    made = router(mine)
+    made.load.work_at(mine.token).busy = 8
+    assert made.handle(opening(), SETTLED) == Wait("no-slot")
+    made.load.work_at(mine.token).busy = 7
+    assert isinstance(made.handle(opening(), SETTLED), Forward)
+
+
+HEADS = st.builds(
+    Head,
+    flow=st.binary(min_size=12, max_size=12),
+    route=st.sampled_from([ROUTE, OTHER]),
+    token=st.sampled_from([0, 1, server("i-1").token, 0xFFFFFFFF]),
+    is_opening=st.booleans(),
+    is_closing=st.booleans(),
+    copy=st.integers(0, 0xFFFFFFFF),
+    sequence=st.integers(0, 0xFFFFFFFF),
+    acknowledged=st.integers(0, 0xFFFFFFFF),
+    length=st.integers(0, 1200),
+)
+
+
+@given(st.lists(HEADS, max_size=30))
+def test_whatever_comes_work_is_never_counted_below_zero(heads):
+    made = router(server("i-1"), server("i-2"))
+    now = SETTLED
+    for head in heads:
+        now += 0.1
+        decision = made.handle(head, now)
+        if isinstance(decision, Forward):
+            assert decision.server.report.service == "entries"
+    for work in made.load.work.values():
+        assert work.busy >= 0
+        assert work.open >= 0
+
+
+@pytest.mark.parametrize("weights", [(1, 0), (0, 1), (3, 1)])
+def test_a_route_shares_new_flows_by_weight(weights):
+    shares = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
+    route = Route("r", ROUTE, shares)
+    flows = [flow_of(caller, ROUTE) for caller in range(4000)]
+    found = [route.service_for(flow) for flow in flows]
+    expected = weights[0] / sum(weights)
+    assert abs(found.count("entries") / len(found) - expected) < 0.03
