Avoid servers of a zone that does not answer, and elect sooner at a start

After the power loss the first election took 0.25 s of waiting. Ruled out: load in the zone (its servers had free slots), lost marks of lateness. Change: a zone of which no control VM answers for 1.2 s comes last in the choice; a replica asks for votes on trial again after its start time-out, 0.08 to 0.16 s.

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -107,7 +107,7 @@
             raise ValueError("a leader's lease needs the whole timeout at a start")
         self.heard_at = start_s - settings.election_timeout_s
         self.join_at = 0.0
-        self.election_at = start_s * (1 + random.random())
+        self.election_at = self.next_trial_at()
         self.snapshot_asked = restored.snapshot.log_index
         self.persist_number = 0
         self.unsynced: dict[int, PendingPersist] = {}
@@ -152,6 +152,11 @@
         timeout = self.settings.election_timeout_s
         return self.clock + timeout * (1 + self.random.random())
 
+    def next_trial_at(self) -> float:
+        """Return a random time at which to ask again; asking binds nobody."""
+        timeout = self.settings.start_timeout_s
+        return self.clock + timeout * (1 + self.random.random())
+
     def advance_clock(self, now: float) -> None:
         """Take the caller's clock; forget what a jump of it makes untrue."""
         gap = now - self.now if math.isfinite(self.now) else 0.0
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -117,6 +117,7 @@
             self.sweep_at = now + POLL_S
             self.router.sweep(now)
             self._note_feed(now)
+            self._note_zones(now)
         if now >= self.poll_at:
             is_searching = not self.router.routes.number
             self.poll_at = now + (SEARCH_S if is_searching else POLL_S)
@@ -257,6 +258,12 @@
         share = self.router.load.share(now)
         return [Sent(vm, share) for vm in others]
 
+    def _note_zones(self, now: float) -> None:
+        silent = self.follower.silent_zones(now) - {self.settings.zone}
+        if silent != self.router.load.silent_zones:
+            log_decision("zones-silent", zones=",".join(sorted(silent)))
+        self.router.load.silent_zones = silent
+
     def _note_feed(self, now: float) -> None:
         is_fed = self.follower.is_fed(now)
         if is_fed != self.was_fed:
--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -22,7 +22,7 @@
         silent_s: Seconds without an answer after which a control VM is not relied on.
         forget_s: Seconds without an answer after which one that is no seed is
             not asked any more.
-        outside: Control VMs of other zones that an entry VM follows.
+        outside: Other zones of which an entry VM follows a control VM.
         page_records: Records a full answer carries; another poll follows at once.
     """
 
@@ -32,7 +32,7 @@
     seeds: tuple[VmId, ...]
     silent_s: float = 1.2
     forget_s: float = 20.0
-    outside: int = 2
+    outside: int = 3
     page_records: int = 64
 
 
@@ -103,6 +103,18 @@
             one.heard_at > limit and one.is_current for one in self.sources.values()
         )
 
+    def silent_zones(self, now: float) -> frozenset[ZoneName]:
+        """Return the followed zones of which no control VM answers any more."""
+        limit = now - self.settings.silent_s
+        latest: dict[ZoneName, float] = {}
+        for vm in self._followed(now):
+            source = self.sources[vm]
+            heard = latest.get(source.zone, -math.inf)
+            latest[source.zone] = max(heard, source.heard_at)
+        return frozenset(
+            zone for zone, heard in latest.items() if zone and heard < limit
+        )
+
     def take(self, answer: FeedAnswer, now: float) -> None:
         """Note all that an answer tells but its records."""
         source = self.sources.setdefault(answer.sender, Source())
@@ -161,14 +173,22 @@
         return (not source.is_current, source.zone != self.settings.zone, vm)
 
     def _followed(self, now: float) -> list[VmId]:
+        """Return the near control VMs, and of some other zones one or two each."""
         if self.settings.is_control:
             return list(self.sources)
         near = [vm for vm, one in self.sources.items() if self._is_near(one)]
-        far = [vm for vm, one in self.sources.items() if not self._is_near(one)]
+        by_zone: dict[ZoneName, list[VmId]] = {}
+        for vm in sorted(self.sources):
+            source = self.sources[vm]
+            if not self._is_near(source):
+                by_zone.setdefault(source.zone, []).append(vm)
         limit = now - self.settings.silent_s
-        far.sort(key=lambda vm: (self.sources[vm].heard_at <= limit, vm))
-        silent = [vm for vm in far if self.sources[vm].heard_at <= limit]
-        return near + far[: self.settings.outside] + silent[:1]
+        chosen: list[VmId] = []
+        for zone in sorted(by_zone)[: self.settings.outside]:
+            vms = by_zone[zone]
+            fresh = [vm for vm in vms if self.sources[vm].heard_at > limit]
+            chosen += fresh[:1] or vms
+        return near + chosen
 
     def _is_near(self, source: Source) -> bool:
         return source.zone in (self.settings.zone, "")
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -147,3 +147,23 @@
     exchange(follower(), source, 0.0)
     assert source.push(2.9)
     assert source.push(3.1) == []
+
+
+def test_a_zone_is_silent_when_none_of_its_control_vms_answers():
+    mine = follower(seeds=("c1", "c2", "c3"))
+    sources = [publisher("c1", "a"), publisher("c2", "b"), publisher("c3", "b")]
+    for source in sources:
+        exchange(mine, source, 0.0)
+    assert mine.silent_zones(1.0) == frozenset()
+    exchange(mine, sources[0], 1.0)
+    assert mine.silent_zones(1.5) == {"b"}
+    exchange(mine, sources[2], 1.6)
+    assert mine.silent_zones(1.7) == frozenset()
+
+
+def test_of_each_other_zone_one_control_vm_that_answers_is_followed():
+    mine = follower(seeds=("c1", "c2", "c3"))
+    for source in (publisher("c1"), publisher("c2", "b"), publisher("c3", "b")):
+        exchange(mine, source, 0.0)
+    assert [vm for vm, _ in mine.polls(0.1)] == ["c1", "c2"]
+    assert [vm for vm, _ in mine.polls(2.0)] == ["c1", "c2", "c3"]
--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -101,6 +101,8 @@
         return 4
     if entry.record.is_late:
         return 3
+    if entry.record.report.zone in load.silent_zones:
+        return LAST_RESORT
     if work is not None and work.avoided_until > opening.now:
         return LAST_RESORT
     if entry.known_at > opening.now - load.settings.settle_s:
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -10,7 +10,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from kumquatmux_core.identity import VmId
+from kumquatmux_core.identity import VmId, ZoneName
 from kumquatmux_core.latencies import Latencies
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.settings import TokenSettings
@@ -119,6 +119,8 @@
         work: Own work by token.
         others_placing: Other VMs of the zone that place flows at the same time,
             each about as many as this one.
+        silent_zones: Other zones that do not answer, so that their servers are
+            likely out of reach.
         latencies: How long callers waited for handshakes and first answers.
     """
 
@@ -131,6 +133,7 @@
         self.long: dict[bytes, float] = {}
         self.number = 0
         self.others_placing = 0
+        self.silent_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
 
     def work_at(self, token: int) -> Work:
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -95,6 +95,19 @@
     assert choice.entry.record.report.lifetime.name == "i-2"
 
 
+def test_servers_of_a_zone_that_does_not_answer_come_last():
+    directory = Directory()
+    directory.put(server("i-1", "b"), 0.0)
+    directory.put(server("i-2", "c"), 0.0)
+    load = LoadTable(TokenSettings("e1", "a"))
+    load.silent_zones = frozenset({"b"})
+    names = set()
+    for seed in range(20):
+        choice = choose(directory.servers("entries"), SHORT, load, Random(seed))
+        names.add(choice.entry.record.report.lifetime.name)
+    assert names == {"i-2"}
+
+
 def test_servers_that_leave_or_have_ended_are_no_choice():
     leaving = server("i-1", phase=Phase.DRAINING)
     over = server("i-2", phase=Phase.ENDED)
