--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -104,7 +104,9 @@
     log_decision("agreement-stand", replica=core.me, term=term)
     core.vote = VoteRecord(term, core.me)
     core.persist(vote=core.vote)
-    core.election_at = core.next_election_at()
+    core.election_at = max(
+        core.election_at, core.clock + core.settings.election_timeout_s
+    )
     election = Election(term, is_trial=False)
     core.election = election
     last = next(reversed(core.unsynced.values()))
--- a/libs/lab/tests/test_soak_findings.py
+++ b/libs/lab/tests/test_soak_findings.py
@@ -8,6 +8,7 @@
 
 FOUND = [
     ("flow-lost-in-soak", flows.run, 5049),
+    ("flow-lost-in-soak", flows.run, 77041),
     ("log-without-leader", settings.run, 11197),
     ("log-without-leader", settings.run, 11679),
 ]
