Reset lost flows on two kinds of evidence and hold packets over a start

Ruled out: a reset on repeated data alone: long work looks the same; packets that queue while a VM stands still are told apart by the time between them. Change: a flow is reset when its caller repeats data twice over 0.5 s while its server answers nobody here, and besides the server is late, its zone silent or opening packets to it unanswered; unknown tokens are held 1.5 s.

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -29,6 +29,8 @@
         placed_at: When the latest opening packet was sent on.
         seen_at: When its latest packet came.
         busy_since: When the request in progress began, None for none.
+        asked_at: When the latest data came first.
+        repeats: How often that data came again without an answer.
         asked_ack: What the caller had of the answers when it asked.
         has_asked: Whether it carried a request before.
         end: Place after the last byte of the caller's data.
@@ -36,11 +38,13 @@
 
     __slots__ = (
         "asked_ack",
+        "asked_at",
         "busy_since",
         "end",
         "has_asked",
         "is_open",
         "placed_at",
+        "repeats",
         "seen_at",
         "token",
         "tried",
@@ -53,6 +57,8 @@
         self.placed_at = now
         self.seen_at = now
         self.busy_since: float | None = None
+        self.asked_at = now
+        self.repeats = 0
         self.asked_ack = 0
         self.has_asked = False
         self.end = 0
@@ -195,14 +201,41 @@
         if head.length and _is_after(head.sequence + head.length, flow.end):
             flow.end = (head.sequence + head.length) % SEQUENCE_SPACE
             flow.asked_ack = head.acknowledged
+            flow.asked_at = now
+            flow.repeats = 0
             self._count_request(flow, head)
             self._set_busy(flow, now)
         elif _is_after(head.acknowledged, flow.asked_ack):
             flow.asked_ack = head.acknowledged
+            flow.repeats = 0
             self.work_at(flow.token).answered_at = now
             if flow.busy_since is not None:
                 self.latencies.record("first-answer", now - flow.busy_since)
             self._set_idle(flow)
+        elif head.length:
+            flow.repeats += 1
+
+    def is_unanswered(self, key: bytes, now: float) -> bool:
+        """Return whether a caller repeats itself to a server that answers nobody here.
+
+        Long work alone does not look like this: other callers get their answers.
+        """
+        flow = self.flows.get(key)
+        if flow is None or flow.repeats < self.settings.silent_repeats:
+            return False
+        is_long = now - flow.asked_at >= self.settings.silent_s
+        return is_long and self.work_at(flow.token).answered_at <= flow.asked_at
+
+    def is_struck(self, token: int, now: float) -> bool:
+        """Return whether a server left an opening packet unanswered, here or near."""
+        if self.work_at(token).strikes:
+            return True
+        told = (shared.get(token) for shared in self.others(now))
+        return any(one is not None and one.is_avoided for one in told)
+
+    def drop(self, key: bytes) -> None:
+        """Count a flow no longer."""
+        self._remove(key)
 
     def expire_openings(self, now: float) -> None:
         """Count a placed flow as work no longer if its caller did not go on here.
@@ -255,8 +288,6 @@
     def _open(self, flow: Flow, token: int, head: Head, now: float) -> None:
         """The caller goes on with a server, not always the one tried last."""
         flow.is_open = True
-        if flow.tried:
-            self.latencies.record("handshake", now - flow.placed_at)
         flow.asked_ack = head.acknowledged
         flow.end = head.sequence
         if flow.token != token:
@@ -267,7 +298,13 @@
             self.work_at(token).open += 1
             if is_busy:
                 self._set_busy(flow, now)
-        work = self.work_at(token)
+        if flow.tried:
+            self._note_handshake(flow, now)
+
+    def _note_handshake(self, flow: Flow, now: float) -> None:
+        """The server answered the opening packet that this VM had sent on."""
+        self.latencies.record("handshake", now - flow.placed_at)
+        work = self.work_at(flow.token)
         work.strikes = 0
         work.avoided_until = -math.inf
         work.answered_at = now
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -114,8 +114,22 @@
         if ended_at is not None and ended_at < now - self.settings.ended_s:
             return Reset(head.acknowledged, "server-ended")
         self.load.note(head, token, now)
+        if self._is_lost(head, entry.record, now):
+            self.load.drop(head.flow)
+            return Reset(head.acknowledged, "server-silent")
         return Forward(entry.record, token)
 
+    def _is_lost(self, head: Head, record: ServerRecord, now: float) -> bool:
+        """Return whether a flow's server is gone, by two kinds of evidence.
+
+        Its caller repeats itself while the server answers nobody here, and besides
+        its reports stopped, its zone is silent or opening packets go unanswered.
+        """
+        if not head.length or not self.load.is_unanswered(head.flow, now):
+            return False
+        is_cut_off = record.report.zone in self.load.silent_zones
+        return record.is_late or is_cut_off or self.load.is_struck(record.token, now)
+
     def _without_route(self, head: Head) -> Decision:
         if not self.routes.number:
             return Wait("no-document")
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -36,7 +36,12 @@
         strike_max_s: Longest time for which it is avoided.
         copy_gap_s: Seconds between an opening packet and its copy below which the
             copy says nothing about the server, since this VM was late itself.
-        hold_s: Seconds a packet with an unknown token is held.
+        silent_repeats: Times a caller repeats the same data before its flow may be
+            taken to be lost.
+        silent_s: Seconds over which it does so, by this VM's clock, so that packets
+            which queued up while the VM stood still say nothing.
+        hold_s: Seconds a packet with an unknown token is held: as long as an entry VM
+            that has just started may wait for a control VM that starts too.
         held_packets: Packets held at most.
         known_s: Seconds for which a service without any server is expected to get
             one; its opening packets wait meanwhile.
@@ -65,8 +70,10 @@
     strike_s: float = 0.5
     strike_max_s: float = 4.0
     copy_gap_s: float = 0.12
-    hold_s: float = 0.4
-    held_packets: int = 256
+    silent_repeats: int = 2
+    silent_s: float = 0.5
+    hold_s: float = 1.5
+    held_packets: int = 2048
     known_s: float = 5.0
     patience_s: float = 1.4
     copy_after_s: tuple[float, ...] = (0.0, 0.2, 0.6)
