--- /dev/null
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -0,0 +1,189 @@
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+from expression import Ok
+
+from kumquatmux_core.identity import Address, Endpoint
+from kumquatmux_daemons.token_entry.core import Datagram, EntryCore, Sent
+from kumquatmux_daemons.token_entry.settings import EntrySettings
+from kumquatmux_registry.feed import FeedAnswer
+from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
+from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
+from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.routes import Route, RouteSet, Share
+
+ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
+PLACE = Endpoint("10.1.0.9", 1)
+SLOTS = 2
+QUEUE = 8
+WORK_S = 0.028
+
+
+class Heads:
+    """Packets written as ``kind caller token``, so that tests can read them."""
+
+    def read_head(self, packet):
+        kind, _, rest = packet.partition(b" ")
+        if kind not in (b"open", b"data", b"answered", b"close"):
+            return None
+        caller, _, token = rest.partition(b" ")
+        flow = int(caller).to_bytes(6) + ROUTE
+        acknowledged = 900 if kind == b"answered" else 500
+        length = 9 if kind == b"data" else 0
+        return Head(
+            flow,
+            ROUTE,
+            int(token or 0),
+            kind == b"open",
+            kind == b"close",
+            0,
+            101 if kind != b"answered" else 110,
+            0 if kind == b"open" else acknowledged,
+            length,
+        )
+
+    def to_server(self, packet, server, token):
+        return packet.split()[0] + b" %d %d" % (int(packet.split()[1]), token)
+
+    def reset_for(self, packet, sequence):
+        return b"reset %d" % sequence
+
+    def caller_ip(self, packet):
+        return "100.64.0.1"
+
+    def read_routes(self, content):
+        route = Route("r", ROUTE, (Share("entries", 1),))
+        return Ok(RouteSet(int(content), (route,), frozenset({"entries"}), 15.0))
+
+
+def server(number, phase=Phase.READY):
+    place = Endpoint("10.0.0.9", number)
+    lifetime = Lifetime(f"i-{number}", 1)
+    report = Report(lifetime, 1, "entries", place, "a", "v1", SLOTS, phase, 0.0)
+    return ServerRecord(report, "c1")
+
+
+def answer(*records, document=0, content=b"", is_current=True, entries=("e1",)):
+    return FeedAnswer(
+        "c1", "a", 1, 0, len(records), records, document, content, ("c1",), entries,
+        is_current,
+    )  # fmt: skip
+
+
+@pytest.fixture
+def core():
+    settings = EntrySettings("e1", "a", PLACE, PLACE, PLACE, PLACE, ("c1",))
+    return EntryCore(settings, Heads(), Random(1), 0.0)
+
+
+def datagrams(effects):
+    return [one.data for one in effects if isinstance(one, Datagram)]
+
+
+def test_it_is_ready_once_a_current_control_vm_gave_it_a_document(core):
+    assert not core.is_ready(0.1)
+    core.message("c1", answer(is_current=False, document=3, content=b"3"), 0.2)
+    assert not core.is_ready(0.3)
+    core.message("c1", answer(document=3), 0.4)
+    assert core.is_ready(0.5)
+
+
+def test_a_zone_that_is_cut_off_serves_with_what_it_knows(core):
+    core.message("c1", answer(is_current=False, document=3, content=b"3"), 0.2)
+    assert not core.is_ready(1.9)
+    assert core.is_ready(2.1)
+
+
+def test_it_stays_ready_without_any_control_vm_until_it_stops(core):
+    core.message("c1", answer(document=3, content=b"3"), 0.2)
+    assert core.is_ready(0.3)
+    assert core.is_ready(900.0)
+    core.is_stopping = True
+    assert not core.is_ready(900.0)
+
+
+def test_a_packet_with_an_unknown_token_is_kept_while_others_are_asked(core):
+    core.message("c1", answer(document=3, content=b"3", entries=("e1", "e2")), 0.1)
+    token = server(1).token
+    asked = core.packet(b"data 7 %d" % token, 0.2)
+    assert asked == [Sent(vm, TokenQuestion("e1", token)) for vm in ("c1", "e2")]
+    effects = core.message("e2", TokenAnswer("e2", server(1)), 0.3)
+    assert datagrams(effects) == [b"data 7 %d" % token]
+
+
+def test_it_answers_what_a_token_stands_for_if_it_knows(core):
+    core.message("c1", answer(server(1)), 0.1)
+    known = core.message("e2", TokenQuestion("e2", server(1).token), 0.2)
+    assert known == [Sent("e2", TokenAnswer("e1", server(1)))]
+    assert core.message("e2", TokenQuestion("e2", 5), 0.2) == []
+
+
+def test_nonsense_is_counted_and_left(core):
+    assert core.packet(b"\x00\xff", 0.1) == []
+    assert core.counts["packets.unread"] == 1
+
+
+def test_openings_that_came_before_document_and_servers_are_placed_then(core):
+    assert core.packet(b"open 7", 0.1) == []
+    core.message("c1", answer(server(1), document=3, content=b"3"), 0.5)
+    assert datagrams(core.tick(0.55)) == [b"open 7 %d" % server(1).token]
+    assert datagrams(core.tick(0.6)) == []
+
+
+def test_an_opening_whose_caller_gave_up_is_not_placed(core):
+    core.packet(b"open 7", 0.1)
+    core.message("c1", answer(server(1), document=3, content=b"3"), 1.6)
+    assert datagrams(core.tick(1.65)) == []
+
+
+class Servers:
+    """Servers with slots and a queue, and callers that acknowledge answers."""
+
+    def __init__(self, core):
+        self.core = core
+        self.work = {}
+        self.done = {}
+        self.deepest = Counter()
+
+    def take(self, data, now):
+        kind, caller, token = data.split()
+        if kind != b"open":
+            return
+        line = self.work.setdefault(int(token), [])
+        line.append(int(caller))
+        self.deepest[int(token)] = max(self.deepest[int(token)], len(line))
+        self.core.packet(b"data %d %d" % (int(caller), int(token)), now)
+
+    def work_on(self, now, seconds):
+        for token, line in self.work.items():
+            for _ in range(min(len(line), round(SLOTS * seconds / WORK_S))):
+                caller = line.pop(0)
+                self.done[caller] = now
+                self.core.packet(b"answered %d %d" % (caller, token), now)
+                self.core.packet(b"close %d %d" % (caller, token), now)
+
+
+def test_the_flood_after_a_loss_of_all_vms_overflows_no_server(core):
+    """After a power loss the callers of two seconds come at once.
+
+    They wait for a document, then for slots: no server gets more than its queue
+    takes, which would shed them, and all are done before they give up.
+    """
+    callers = 130
+    for caller in range(callers):
+        core.packet(b"open %d" % caller, 0.6 + caller / 1000)
+    records = [server(number) for number in range(1, 6)]
+    core.message("c1", answer(*records, document=3, content=b"3"), 0.8)
+    servers = Servers(core)
+    now = 0.8
+    while now < 2.0:
+        now += 0.05
+        for data in datagrams(core.tick(now)):
+            servers.take(data, now)
+        servers.work_on(now, 0.05)
+    assert len(servers.done) == callers
+    assert max(servers.deepest.values()) <= SLOTS + QUEUE
+    assert max(servers.done.values()) < 0.6 + 1.4
--- a/libs/lab/tests/test_bench.py
+++ b/libs/lab/tests/test_bench.py
@@ -4,6 +4,7 @@
 
 from kumquatmux_lab import bench
 from kumquatmux_lab.bench import BenchSettings, row_of, run_bench
+from kumquatmux_lab.benches import tokens
 
 
 @pytest.mark.parametrize(
@@ -27,3 +28,11 @@
 def test_bench_that_prints_nothing_is_a_problem(monkeypatch):
     monkeypatch.setattr(bench, "MODULE_PREFIX", "kumquatmux_lab.")
     assert run_bench(BenchSettings("machine", 1)).error.code == "bench-silent"
+
+
+def test_token_costs_are_measured_for_what_was_asked():
+    costs = tokens.measure(200, 4, seed=1)
+    assert (costs.open_flows, costs.servers) == (200, 4)
+    assert costs.packets_per_s > 0
+    assert costs.new_flows_per_s > 0
+    assert costs.record_bytes > 0
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -29,6 +29,7 @@
 LIMIT_CONTROL_VMS = 54
 CONTROL_VMS = 5 + 2 * 20
 COPIES = 2
+ZONES = 20
 
 
 class Row(NamedTuple):
@@ -59,6 +60,7 @@
         "ENTRY_CPU": entry_cpu(slopes),
         "ENTRY_MEMORY": entry_memory(slopes),
         "CONTROL": control(slopes),
+        "PLATFORM": platform(slopes),
         "DAY": day(slopes),
     }
     for name, rows in tables.items():
@@ -238,6 +240,77 @@
     ]
 
 
+def platform(s: dict[str, float]) -> list[Row]:
+    polled = 2 + 3
+    feed = polled * 2 * s["feed_poll_bytes"]
+    answers = 2 * NODES / CONTROL_VMS * s["feed_answer_bytes"] * polled / 3
+    zone_vms = NODES / ZONES
+    zone_servers = SERVERS / ZONES
+    share = s["load_share_bytes"] + 4 * s["load_server_bytes"]
+    mesh = (zone_vms - 1) * 20 * share
+    near = 8 * 20 * share
+    restarts = RESTARTS_A_DAY / DAY_S / ZONES
+    news = restarts * zone_vms / 2 * s["feed_record_bytes"]
+    new_flows = NEW_FLOWS / NODES * s["token_new_flow_us"] / 1e4
+    flows = FLOWS / NODES * s["token_flow_bytes"] / 1e6
+    return [
+        Row(
+            "polls of an entry VM",
+            f"{polled} control VMs x 2/s x 34 B",
+            kb(feed),
+            "built",
+        ),
+        Row(
+            "counts, to every VM of a zone",
+            f"{zone_vms - 1:.0f} x 20/s x {share:.0f} B",
+            kb(mesh),
+            "built; " + verdict(mesh < LIMIT_BYTES),
+        ),
+        Row(
+            "counts, to 8 VMs with the same addresses",
+            f"8 x 20/s x {share:.0f} B",
+            kb(near),
+            "designed; " + verdict(near < LIMIT_BYTES),
+        ),
+        Row(
+            "the same once a second while nothing changes",
+            f"8 x {share:.0f} B",
+            kb(near / 20),
+            "designed",
+        ),
+        Row(
+            "answers sent by a control VM",
+            "its share of 14,000 followers x 2/s x 95 B",
+            kb(answers),
+            "built",
+        ),
+        Row(
+            "news of servers sent by a control VM",
+            f"{restarts:.4f}/s x half of {zone_vms:.0f} followers x 69 B",
+            kb(news),
+            "built",
+        ),
+        Row(
+            "servers known by an entry VM",
+            "those of its zone",
+            f"{zone_servers:.0f}",
+            "designed: today all are known everywhere",
+        ),
+        Row(
+            "placing new flows",
+            f"107/s x {s['token_new_flow_us']:.0f} us",
+            f"{new_flows:.2f}%",
+            "built; it grows with the servers of an address",
+        ),
+        Row(
+            "memory of counted flows",
+            f"13,571 x {s['token_flow_bytes']:.0f} B",
+            mb(flows),
+            "built",
+        ),
+    ]
+
+
 def control(s: dict[str, float]) -> list[Row]:
     changes = CHANGES_A_DAY / DAY_S
     levels = math.ceil(math.log(NODES / CONTROL_VMS, s["relay_width"]))
