Keep a silent control VM's vote until its successor votes

A VM to be replaced was down but whole; the leader dropped it first, which left two voters of which both were needed, and then one of the two lost its disk: one lost disk, and no quorum although the dropped VM came back. Ruled out: lost votes, elections in step (term grew by trial elections only). Change: only a voter whose VM has come back with another folder is dropped before its successor votes; a silent one that is to be replaced goes afterwards.

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -70,11 +70,15 @@
 
 
 def _drop_dead(current: Configuration, view: MembershipView) -> Configuration | None:
+    """Drop a voter whose VM has come back with another folder.
+
+    A voter that is merely silent stays until its successor votes: it may come back,
+    and the rest may need its vote if another one loses its disk meanwhile.
+    """
     ready = {learner.vm for learner in view.caught_up}
     for voter in current.voters:
-        if voter == view.leader or voter in view.live:
-            continue
-        if voter.vm in ready or (ready and voter.vm not in current.vms):
+        is_silent = voter != view.leader and voter not in view.live
+        if is_silent and voter.vm in ready:
             return _without(current, voter)
     return None
 
