Let one entry VM of a zone place a service's flows

Cause: each VM chose by its own counts and those that the others had told up to 50 ms before, with a guess for what they placed since (each own flow counted once for every other VM). Ruled out: the servers' room (p99 112 ms is reached with the same arrivals), the number of servers looked at. Change: the first VM by rendezvous hash places a service's flows; others ask it, send the packet on themselves, and place by themselves when no answer comes within 30 ms. Counts go as changes, grants count until the asker's counts hold them. Other zones' servers are only looked at where the own zone costs as much.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -16,10 +16,21 @@
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_registry.table import ServerTable
-from kumquatmux_tokens.load import LoadShare
-from kumquatmux_tokens.packets import Decision, Drop, Forward, Head, Hold, Reset, Wait
+from kumquatmux_tokens.packets import (
+    Ask,
+    Decision,
+    Drop,
+    Forward,
+    Head,
+    Hold,
+    Reset,
+    Wait,
+)
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.waiting import Held
+from kumquatmux_tokens.work import LoadShare
 
 POLL_S = 0.5
 """Seconds between polls of the control VMs, and between sweeps."""
@@ -183,6 +194,14 @@
             )
         return []
 
+    @_carry_out.register
+    def _(self, decision: Ask, head: Head, data: bytes, now: float) -> list[Effect]:
+        self.counts["openings.asked"] += 1
+        if not self.router.waiting.put(head, data, now):
+            self.counts["drops.too-many-waiting"] += 1
+            return []
+        return [Sent(decision.vm, decision.question)]
+
     @_carry_out.register
     def _(self, decision: Hold, head: Head, data: bytes, now: float) -> list[Effect]:
         self.counts["packets.held"] += 1
@@ -213,9 +232,21 @@
 
     @_take.register
     def _(self, message: LoadShare, now: float) -> list[Effect]:
-        self.router.load.take_share(message, now)
+        self.router.load.zone.take(message, now)
         return []
 
+    @_take.register
+    def _(self, message: PlaceQuestion, now: float) -> list[Effect]:
+        return [Sent(message.sender, self.router.place_for(message, now))]
+
+    @_take.register
+    def _(self, message: PlaceAnswer, now: float) -> list[Effect]:
+        held = self.router.take_answer(message, now)
+        if held is None:
+            return []
+        decision = self.router.place_as(held.head, message, now)
+        return self._release(decision, held, now)
+
     @_take.register
     def _(self, message: TokenQuestion, now: float) -> list[Effect]:
         entry = self.router.directory.by_token.get(message.token)
@@ -247,16 +278,20 @@
         effects: list[Effect] = []
         for held in self.router.waiting.due(now):
             decision = self.router.handle(held.head, now)
-            if not isinstance(decision, Wait):
-                self.router.waiting.remove(held.head.flow)
-                effects += self._carry_out(decision, held.head, held.data, now)
+            effects += self._release(decision, held, now)
         return effects
 
+    def _release(self, decision: Decision, held: Held, now: float) -> list[Effect]:
+        """Carry out a decision about an opening packet that waits."""
+        if isinstance(decision, Wait):
+            return []
+        if not isinstance(decision, Ask):
+            self.router.waiting.remove(held.head.flow)
+        return self._carry_out(decision, held.head, held.data, now)
+
     def _share(self, now: float) -> list[Effect]:
-        others = [vm for vm in self.follower.peers if vm != self.settings.vm]
-        self.router.load.others_placing = len(others)
-        share = self.router.load.share(now)
-        return [Sent(vm, share) for vm in others]
+        self.router.placers.set_peers(self.follower.peers)
+        return [Sent(vm, share) for vm, share in self.router.tell(now)]
 
     def _note_zones(self, now: float) -> None:
         silent = self.follower.silent_zones(now) - {self.settings.zone}
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -23,7 +23,7 @@
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams, every
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
-from kumquatmux_tokens.load import MESSAGE_TYPES as LOAD_MESSAGES
+from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
 
 TICK_S = 0.05
 
@@ -65,7 +65,7 @@
     parts.lines.tick(trio.current_time())
     random = Random(secrets.randbits(64))
     core = EntryCore(settings, parts.format, random, trio.current_time())
-    messages = registry(FEED_MESSAGES, LOOKUP_MESSAGES, LOAD_MESSAGES)
+    messages = registry(FEED_MESSAGES, LOOKUP_MESSAGES, TOKEN_MESSAGES)
     ports = Ports(PacketPort(settings.packets), PeerDatagrams(settings.peers, messages))
 
     def take_packet(data: bytes, source: tuple[str, int], now: float) -> None:
--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
@@ -29,11 +29,11 @@
 from kumquatmux_registry.saved import SavedServers
 from kumquatmux_storage.memory import MemoryDisk
 from kumquatmux_storage.store import Identity, open_or_create
-from kumquatmux_tokens.load import MESSAGE_TYPES as LOAD_MESSAGES
+from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.routes import Route, RouteSet, Share
 
-MESSAGES = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES, LOAD_MESSAGES)
+MESSAGES = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES, TOKEN_MESSAGES)
 CLUSTER = "lab"
 TICK_S = 0.05
 NEAR_S = 0.0004
--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -7,7 +7,7 @@
 
 from kumquatmux_registry.records import Phase
 from kumquatmux_tokens.directory import Entry
-from kumquatmux_tokens.load import LoadTable, SharedWork
+from kumquatmux_tokens.load import LoadTable
 
 LAST_RESORT = 2
 """Grade from which on a server is chosen only where there is no other."""
@@ -71,7 +71,8 @@
     Servers that leave or have ended are never chosen. Those that were tried already,
     left others unanswered, are late with their reports or still new come last, in
     this order of grades. A short flow goes where the least work is now, a long one
-    where the fewest flows are.
+    where the fewest flows are. Other zones are looked at only where this one's best
+    server costs as much as leaving the zone.
 
     Args:
         entries: Servers of the service.
@@ -82,13 +83,24 @@
     ready = [one for one in entries if one.record.report.phase == Phase.READY]
     if not ready:
         return None
-    others = load.others(opening.now)
-    offers = [_offer(one, opening, load, others, random.random()) for one in ready]
-    best = min(offers, key=_order)
+    zone = load.settings.zone
+    near = [one for one in ready if one.record.report.zone == zone]
+    offers = [_offer(one, opening, load, random.random()) for one in near]
+    best = min(offers, key=_order, default=None)
+    if best is None or not _is_sound(best, load):
+        far = (one for one in ready if one.record.report.zone != zone)
+        offers += [_offer(one, opening, load, random.random()) for one in far]
+        best = min(offers, key=_order)
     candidates = sum(1 for one in offers if one.grade == best.grade)
     return Choice(best.entry, best.cost, candidates, best.grade, best.is_full)
 
 
+def _is_sound(offer: Offer, load: LoadTable) -> bool:
+    """Return whether no server of another zone can be a better choice."""
+    is_cheap = offer.cost <= load.settings.remote_cost
+    return offer.grade == 0 and not offer.is_full and is_cheap
+
+
 def _order(offer: Offer) -> tuple[bool, bool, int, float, float]:
     is_last_resort = offer.grade >= LAST_RESORT
     return (is_last_resort, offer.is_full, offer.grade, offer.cost, offer.tie)
@@ -103,32 +115,27 @@
         return 3
     if entry.record.report.zone in load.silent_zones:
         return LAST_RESORT
-    if work is not None and work.avoided_until > opening.now:
+    total = load.zone.totals.get(token)
+    is_avoided = work is not None and work.avoided_until > opening.now
+    if is_avoided or (total is not None and total.avoided > 0):
         return LAST_RESORT
     if entry.known_at > opening.now - load.settings.settle_s:
         return 1
     return 0
 
 
-def _offer(
-    entry: Entry,
-    opening: Opening,
-    load: LoadTable,
-    others: list[dict[int, SharedWork]],
-    tie: float,
-) -> Offer:
+def _offer(entry: Entry, opening: Opening, load: LoadTable, tie: float) -> Offer:
     settings = load.settings
     report = entry.record.report
     token = entry.record.token
     slots = max(report.slots, 1)
     own = load.work.get(token)
-    busy = own.busy + own.recent * load.others_placing if own else 0
+    busy = own.busy if own else 0
     open_flows = own.open if own else 0
-    for shared in others:
-        told = shared.get(token)
-        if told is not None:
-            busy += told.busy
-            open_flows += told.open
+    total = load.zone.totals.get(token)
+    if total is not None:
+        busy += total.busy
+        open_flows += total.open
     idle = max(open_flows - busy, 0)
     busy_cost = settings.long_busy_cost if opening.is_long else 1.0
     cost = (busy_cost * busy + settings.open_cost * idle) / slots
--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -64,6 +64,14 @@
         """Return the lifetimes of a service that have not ended."""
         return list(self.by_service.get(service, {}).values())
 
+    def open_entry(self, token: int) -> Entry | None:
+        """Return a lifetime that may get new flows, None if the token names none."""
+        entry = self.by_token.get(token)
+        if entry is None or token in self.clashing:
+            return None
+        is_open = entry.record.report.phase == Phase.READY and entry.ended_at is None
+        return entry if is_open else None
+
     def forget(self, before: float) -> None:
         """Drop lifetimes that ended before a time."""
         for token, entry in list(self.by_token.items()):
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -8,12 +8,12 @@
 
 import math
 from collections import deque
-from typing import NamedTuple
 
-from kumquatmux_core.identity import VmId, ZoneName
+from kumquatmux_core.identity import ZoneName
 from kumquatmux_core.latencies import Latencies
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.work import SharedWork, ZoneWork
 
 SEQUENCE_SPACE = 1 << 32
 HALF_SPACE = 1 << 31
@@ -70,61 +70,28 @@
     Attributes:
         busy: Requests in progress.
         open: Open flows.
-        recent: Flows placed since the others were last told.
         strikes: Opening packets in a row that it left unanswered.
         avoided_until: Until when flows go elsewhere if they can.
         answered_at: When it last showed that it answers.
     """
 
-    __slots__ = ("answered_at", "avoided_until", "busy", "open", "recent", "strikes")
+    __slots__ = ("answered_at", "avoided_until", "busy", "open", "strikes")
 
     def __init__(self) -> None:
         self.busy = 0
         self.open = 0
-        self.recent = 0
         self.strikes = 0
         self.avoided_until = -math.inf
         self.answered_at = -math.inf
 
 
-class SharedWork(NamedTuple):
-    """One server's work as another VM of the zone sees it.
-
-    Attributes:
-        token: The server's token.
-        busy: Requests in progress.
-        open: Open flows.
-        is_avoided: Whether it left opening packets unanswered.
-    """
-
-    token: int
-    busy: int
-    open: int
-    is_avoided: bool
-
-
-class LoadShare(NamedTuple):
-    """What one VM tells the others of its zone.
-
-    Attributes:
-        sender: Who tells.
-        number: Grows with each message of a process.
-        work: The servers that it has work at or avoids.
-    """
-
-    sender: VmId
-    number: int
-    work: tuple[SharedWork, ...]
-
-
 class LoadTable:
     """Flows and the work that they make.
 
     Attributes:
         flows: Flows by name.
         work: Own work by token.
-        others_placing: Other VMs of the zone that place flows at the same time,
-            each about as many as this one.
+        zone: Work that passes the other VMs of the zone.
         silent_zones: Other zones that do not answer, so that their servers are
             likely out of reach.
         latencies: How long callers waited for handshakes and first answers.
@@ -134,11 +101,9 @@
         self.settings = settings
         self.flows: dict[bytes, Flow] = {}
         self.work: dict[int, Work] = {}
-        self.shared: dict[VmId, tuple[float, dict[int, SharedWork]]] = {}
+        self.zone = ZoneWork(settings)
         self.openings: deque[tuple[float, bytes]] = deque()
         self.long: dict[bytes, float] = {}
-        self.number = 0
-        self.others_placing = 0
         self.silent_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
 
@@ -169,7 +134,6 @@
             flow.tried = (*flow.tried, token)
         flow.placed_at = now
         flow.seen_at = now
-        self.work_at(token).recent += 1
         self._set_busy(flow, now)
         self.openings.append((now, head.flow))
         return flow
@@ -226,12 +190,12 @@
         is_long = now - flow.asked_at >= self.settings.silent_s
         return is_long and self.work_at(flow.token).answered_at <= flow.asked_at
 
-    def is_struck(self, token: int, now: float) -> bool:
+    def is_struck(self, token: int) -> bool:
         """Return whether a server left an opening packet unanswered, here or near."""
         if self.work_at(token).strikes:
             return True
-        told = (shared.get(token) for shared in self.others(now))
-        return any(one is not None and one.is_avoided for one in told)
+        total = self.zone.totals.get(token)
+        return total is not None and total.avoided > 0
 
     def drop(self, key: bytes) -> None:
         """Count a flow no longer."""
@@ -251,6 +215,7 @@
 
     def sweep(self, now: float) -> None:
         """Stop counting what has been silent for long."""
+        self.zone.sweep(now)
         idle = now - self.settings.flow_idle_s
         busy = now - self.settings.busy_s
         for key, flow in list(self.flows.items()):
@@ -263,27 +228,14 @@
             if is_unused and work.answered_at < idle:
                 del self.work[token]
 
-    def share(self, now: float) -> LoadShare:
-        """Return what the other VMs of the zone should know."""
+    def told(self, now: float) -> list[SharedWork]:
+        """Return the work that other VMs of the zone may be told."""
         self.expire_openings(now)
-        self.number += 1
-        for one in self.work.values():
-            one.recent = 0
-        work = tuple(
+        return [
             SharedWork(token, one.busy, one.open, one.avoided_until > now)
             for token, one in self.work.items()
             if one.open or one.avoided_until > now
-        )
-        return LoadShare(self.settings.vm, self.number, work)
-
-    def take_share(self, share: LoadShare, now: float) -> None:
-        """Take what another VM of the zone tells."""
-        self.shared[share.sender] = (now, {one.token: one for one in share.work})
-
-    def others(self, now: float) -> list[dict[int, SharedWork]]:
-        """Return what other VMs told lately."""
-        limit = now - self.settings.shared_for_s
-        return [work for at, work in self.shared.values() if at > limit]
+        ]
 
     def _open(self, flow: Flow, token: int, head: Head, now: float) -> None:
         """The caller goes on with a server, not always the one tried last."""
@@ -338,7 +290,3 @@
 def _is_after(place: int, other: int) -> bool:
     """Return whether a place of a sequence comes after another, around the end."""
     return 0 < (place - other) % SEQUENCE_SPACE < HALF_SPACE
-
-
-MESSAGE_TYPES: dict[int, type] = {0x0605: LoadShare}
-"""Message types by kind, to be merged into the registry of a channel."""
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/messages.py
@@ -0,0 +1,13 @@
+"""Messages between the entry VMs of a zone."""
+
+from __future__ import annotations
+
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.work import LoadShare
+
+MESSAGE_TYPES: dict[int, type] = {
+    0x0605: LoadShare,
+    0x0606: PlaceQuestion,
+    0x0607: PlaceAnswer,
+}
+"""Message types by kind, to be merged into the registry of a channel."""
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -4,7 +4,9 @@
 
 from typing import NamedTuple
 
+from kumquatmux_core.identity import VmId
 from kumquatmux_registry.records import ServerRecord
+from kumquatmux_tokens.placers import PlaceQuestion
 
 
 class Head(NamedTuple):
@@ -69,4 +71,11 @@
     reason: str
 
 
-Decision = Forward | Reset | Hold | Wait | Drop
+class Ask(NamedTuple):
+    """Keep an opening packet while another VM chooses its server."""
+
+    vm: VmId
+    question: PlaceQuestion
+
+
+Decision = Forward | Reset | Hold | Wait | Ask | Drop
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -5,15 +5,26 @@
 from random import Random
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import ServiceName
+from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_tokens.choice import Choice, Opening, choose
-from kumquatmux_tokens.directory import Directory
+from kumquatmux_tokens.directory import Directory, Entry
 from kumquatmux_tokens.load import LoadTable
-from kumquatmux_tokens.packets import Decision, Drop, Forward, Head, Hold, Reset, Wait
+from kumquatmux_tokens.packets import (
+    Ask,
+    Decision,
+    Drop,
+    Forward,
+    Head,
+    Hold,
+    Reset,
+    Wait,
+)
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion, Placers
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.waiting import Held, HeldTokens, WaitingOpenings
+from kumquatmux_tokens.work import LoadShare, SharedWork, Telling
 
 ANY_SEQUENCE = 0
 
@@ -27,6 +38,8 @@
         load: The work known at each server.
         held: Packets whose token is being asked for.
         waiting: Opening packets that no server could take yet.
+        placers: The VMs of the zone that choose servers.
+        tellings: What other VMs were told of the work seen here.
     """
 
     def __init__(self, settings: TokenSettings, random: Random, now: float) -> None:
@@ -38,6 +51,9 @@
         self.load = LoadTable(settings)
         self.held = HeldTokens(settings)
         self.waiting = WaitingOpenings(settings)
+        self.placers = Placers(settings)
+        self.tellings: dict[VmId, Telling] = {}
+        self.shares = 0
         self.served_at: dict[ServiceName, float] = {}
 
     def handle(self, head: Head, now: float) -> Decision:
@@ -55,11 +71,66 @@
         self.directory.put(record, now)
         return self.held.release(record.token)
 
+    def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
+        """Choose a server for a flow that opens at another VM of the zone."""
+        opening = Opening(question.tried, question.is_long, now)
+        choice = self._choose(question.service, opening)
+        me = self.settings.vm
+        if choice is None:
+            return PlaceAnswer(me, question.flow, 0, False, 0)
+        token = choice.entry.record.token
+        if choice.is_full:
+            return PlaceAnswer(me, question.flow, token, True, 0)
+        granted = self.load.zone.grant(question.sender, token, now)
+        return PlaceAnswer(me, question.flow, token, False, granted.number)
+
+    def take_answer(self, answer: PlaceAnswer, now: float) -> Held | None:
+        """Take a choice; return the opening packet that may go on, if there is one."""
+        self.placers.answered(answer.sender, answer.flow)
+        held = self.waiting.by_flow.get(answer.flow)
+        return None if held is None or answer.is_full else held
+
+    def place_as(self, head: Head, answer: PlaceAnswer, now: float) -> Decision:
+        """Send an opening packet to the server chosen for it, if that may take it."""
+        route = self.routes.routes.get(head.route)
+        if route is None:
+            return self._without_route(head)
+        service = route.service_for(head.flow)
+        entry = self.directory.open_entry(answer.token)
+        if entry is None or entry.record.report.service != service:
+            return self._place_here(head, service, now)
+        self._telling(answer.sender).grant = answer.grant
+        self.served_at[service] = now
+        self.load.place(head, answer.token, now)
+        self._log_placed(head, entry, now, placer=answer.sender)
+        return Forward(entry.record, answer.token)
+
+    def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
+        """Return what other VMs of the zone are to be told of the work seen here."""
+        groups = self._work_by_vm(now)
+        told = []
+        for vm in groups.keys() | self.tellings.keys():
+            if vm not in self.placers.peers:
+                self.tellings.pop(vm, None)
+                continue
+            share = self._telling(vm).news(
+                self.settings.vm,
+                self.shares + 1,
+                groups.get(vm, []),
+                now,
+                self.settings.share_all_s,
+            )
+            if share is not None:
+                self.shares += 1
+                told.append((vm, share))
+        return told
+
     def sweep(self, now: float) -> None:
         """Drop what has waited or been silent too long."""
         self.load.sweep(now)
         self.directory.forget(now - 2 * self.settings.flow_idle_s - 90.0)
         self.held.sweep(now)
+        self.placers.sweep(now)
 
     def _place(self, head: Head, now: float) -> Decision:
         route = self.routes.routes.get(head.route)
@@ -77,7 +148,23 @@
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, flow.token)
         tried = flow.tried if flow is not None and is_copy else ()
-        choice = self._choose(service, head, tried, now)
+        if head.flow in self.placers.asked:
+            if self.placers.is_open(head.flow, now):
+                return Wait("asked")
+            return self._place_here(head, service, now)
+        placer = self.placers.placer(service, now)
+        if placer == self.settings.vm:
+            return self._place_here(head, service, now)
+        self.placers.ask(placer, head.flow, now)
+        is_long = self.load.is_long(head.route)
+        me = self.settings.vm
+        return Ask(placer, PlaceQuestion(me, head.flow, service, tried, is_long))
+
+    def _place_here(self, head: Head, service: ServiceName, now: float) -> Decision:
+        flow = self.load.flows.get(head.flow)
+        tried = flow.tried if flow is not None and not flow.is_open else ()
+        opening = Opening(tried, self.load.is_long(head.route), now)
+        choice = self._choose(service, opening)
         if choice is None:
             return self._without_server(head, service, now)
         self.served_at[service] = now
@@ -85,21 +172,42 @@
             return Wait("no-slot")
         token = choice.entry.record.token
         self.load.place(head, token, now)
-        self._log_placed(head, choice, now)
+        self._log_placed(
+            head,
+            choice.entry,
+            now,
+            cost=round(choice.cost, 3),
+            candidates=choice.candidates,
+            grade=choice.grade,
+        )
         return Forward(choice.entry.record, token)
 
-    def _choose(
-        self, service: ServiceName, head: Head, tried: tuple[int, ...], now: float
-    ) -> Choice | None:
-        entries = [
-            one
-            for one in self.directory.servers(service)
-            if one.record.token not in self.directory.clashing
-        ]
-        is_long = self.load.is_long(head.route)
-        opening = Opening(tried, is_long, now)
+    def _choose(self, service: ServiceName, opening: Opening) -> Choice | None:
+        clashing = self.directory.clashing
+        entries = self.directory.servers(service)
+        if clashing:
+            entries = [one for one in entries if one.record.token not in clashing]
         return choose(entries, opening, self.load, self.random)
 
+    def _telling(self, vm: VmId) -> Telling:
+        return self.tellings.setdefault(vm, Telling())
+
+    def _work_by_vm(self, now: float) -> dict[VmId, list[SharedWork]]:
+        """Return the work of which each other VM is to know."""
+        work = self.load.told(now)
+        others = [vm for vm in self.placers.peers if vm != self.settings.vm]
+        if len(others) < self.settings.tell_all:
+            return {vm: work for vm in others}
+        groups: dict[VmId, list[SharedWork]] = {}
+        for one in work:
+            entry = self.directory.by_token.get(one.token)
+            if entry is None:
+                continue
+            placer = self.placers.placer(entry.record.report.service, now)
+            if placer != self.settings.vm:
+                groups.setdefault(placer, []).append(one)
+        return groups
+
     def _follow(self, head: Head, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
         token = head.token
@@ -128,7 +236,7 @@
         if not head.length or not self.load.is_unanswered(head.flow, now):
             return False
         is_cut_off = record.report.zone in self.load.silent_zones
-        return record.is_late or is_cut_off or self.load.is_struck(record.token, now)
+        return record.is_late or is_cut_off or self.load.is_struck(record.token)
 
     def _without_route(self, head: Head) -> Decision:
         if not self.routes.number:
@@ -142,8 +250,10 @@
             return Wait("no-server-yet")
         return Reset(ANY_SEQUENCE, "no-server")
 
-    def _log_placed(self, head: Head, choice: Choice, now: float) -> None:
-        report = choice.entry.record.report
+    def _log_placed(
+        self, head: Head, entry: Entry, now: float, **grounds: float | str
+    ) -> None:
+        report = entry.record.report
         log_decision(
             "flow-placed",
             flow=head.flow.hex(),
@@ -151,11 +261,9 @@
             document=self.routes.number,
             service=report.service,
             server=report.lifetime,
-            token=choice.entry.record.token,
-            cost=round(choice.cost, 3),
-            candidates=choice.candidates,
-            grade=choice.grade,
-            known_s=round(now - choice.entry.known_at, 1),
+            token=entry.record.token,
+            known_s=round(now - entry.known_at, 1),
+            **grounds,
         )
 
     def _log_strike(self, head: Head, token: int) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -18,7 +18,21 @@
             as work any more.
         opening_s: Seconds in which a caller goes on after its opening packet was
             sent on; then its flow counts as work no more.
-        shared_for_s: Seconds for which another VM's counts are used.
+        shared_for_s: Seconds for which another VM's counts are used; longer than the
+            time after which it tells all again.
+        share_all_s: Seconds after which all counts are told again, as messages may
+            get lost.
+        reordered_shares: Messages by which one may be overtaken; a larger step back
+            in numbers is a new process.
+        tell_all: Entry VMs of a zone up to which all are told all; beyond it only
+            those that place a service's flows.
+        answer_s: Seconds after which a VM that was asked for a server is not waited
+            for, well above the time between two VMs of a zone.
+        silent_placer_s: Seconds for which a VM that gave no answer is not asked;
+            doubles with each further time.
+        silent_placer_max_s: Longest time for which it is not asked.
+        grant_s: Seconds for which a flow placed for another VM counts if that VM
+            does not tell of it.
         settle_s: Seconds a new server is known before flows are placed on it, so
             that the zone's other VMs know its token too.
         ended_s: Seconds for which packets still go to a server that has said that
@@ -59,7 +73,14 @@
     flow_idle_s: float = 15.0
     busy_s: float = 0.7
     opening_s: float = 0.25
-    shared_for_s: float = 0.5
+    shared_for_s: float = 1.6
+    share_all_s: float = 0.7
+    reordered_shares: int = 16
+    tell_all: int = 4
+    answer_s: float = 0.03
+    silent_placer_s: float = 1.0
+    silent_placer_max_s: float = 8.0
+    grant_s: float = 0.5
     settle_s: float = 0.1
     ended_s: float = 1.0
     route_gone_s: float = 6.0
--- /dev/null
+++ b/libs/tokens/tests/test_placers.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+import pytest
+
+from kumquatmux_tokens.placers import Placers
+from kumquatmux_tokens.settings import TokenSettings
+
+PEERS = ("e1", "e2", "e3")
+FLOW = bytes(12)
+
+
+@pytest.fixture
+def placers():
+    made = Placers(TokenSettings("e1", "a"))
+    made.set_peers(PEERS)
+    return made
+
+
+def others_service(placers):
+    """Return a service that another VM places."""
+    names = (f"service-{number}" for number in range(99))
+    return next(name for name in names if placers.placer(name, 0.0) != "e1")
+
+
+def test_all_vms_of_a_zone_name_the_same_placer():
+    for service in ("entries", "pagesetter", "depot-desk"):
+        named = set()
+        for vm in PEERS:
+            one = Placers(TokenSettings(vm, "a"))
+            one.set_peers(PEERS)
+            named.add(one.placer(service, 0.0))
+        assert len(named) == 1
+
+
+def test_a_vm_without_peers_places_itself():
+    assert Placers(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
+
+
+def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(placers):
+    service = others_service(placers)
+    first = placers.placer(service, 0.0)
+    placers.ask(first, FLOW, 0.0)
+    assert placers.is_open(FLOW, 0.02)
+    assert not placers.is_open(FLOW, 0.04)
+    assert placers.placer(service, 0.1) != first
+    assert placers.placer(service, 1.1) == first
+
+
+def test_a_placer_that_goes_on_without_answers_is_left_alone_longer(placers):
+    service = others_service(placers)
+    first = placers.placer(service, 0.0)
+    for start in (0.0, 1.1):
+        placers.ask(first, FLOW, start)
+        placers.is_open(FLOW, start + 0.04)
+    assert placers.placer(service, 3.0) != first
+    assert placers.placer(service, 3.2) == first
+
+
+def test_an_answer_ends_the_doubt(placers):
+    service = others_service(placers)
+    first = placers.placer(service, 0.0)
+    placers.ask(first, FLOW, 0.0)
+    placers.is_open(FLOW, 0.04)
+    placers.answered(first, FLOW)
+    assert placers.placer(service, 0.05) == first
+
+
+def test_questions_that_nobody_minds_are_dropped(placers):
+    placers.ask("e2", FLOW, 0.0)
+    placers.sweep(0.5)
+    assert placers.asked == {}
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -8,7 +8,8 @@
 
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.packets import Drop, Forward, Head, Hold, Reset, Wait
+from kumquatmux_tokens.packets import Ask, Drop, Forward, Head, Hold, Reset, Wait
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, Share
 from kumquatmux_tokens.settings import TokenSettings
@@ -310,3 +311,90 @@
     found = [route.service_for(flow) for flow in flows]
     expected = weights[0] / sum(weights)
     assert abs(found.count("entries") / len(found) - expected) < 0.03
+
+
+def asking_router(*servers):
+    """Return a router at a VM that does not place ``entries``, and who does."""
+    made = router(*servers)
+    for peers in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
+        made.placers.set_peers(peers)
+        placer = made.placers.placer("entries", 0.0)
+        if placer != "e1":
+            return made, placer
+    raise AssertionError("no other VM places")
+
+
+def test_another_vm_is_asked_for_the_server_of_a_flow():
+    made, placer = asking_router(server("i-1"))
+    head = opening()
+    question = PlaceQuestion("e1", head.flow, "entries", (), False)
+    assert made.handle(head, SETTLED) == Ask(placer, question)
+
+
+def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
+    first, second = server("i-1"), server("i-2")
+    made, placer = asking_router(first, second)
+    head = opening()
+    made.handle(head, SETTLED)
+    made.waiting.put(head, b"one", SETTLED)
+    for token in (first.token, second.token):
+        answer = PlaceAnswer(placer, head.flow, token, False, 9)
+        held = made.take_answer(answer, SETTLED)
+        assert made.place_as(held.head, answer, SETTLED).token == token
+    assert made.tellings[placer].grant == 9
+
+
+def test_a_chosen_server_that_is_not_known_or_leaves_is_not_taken():
+    leaving = server("i-2", number=2, phase=Phase.DRAINING)
+    other = server("i-3", service="pagesetter")
+    made, placer = asking_router(server("i-1"), leaving, other)
+    for token in (leaving.token, other.token, 77, 0):
+        answer = PlaceAnswer(placer, opening().flow, token, False, 1)
+        decision = made.place_as(opening(), answer, SETTLED)
+        assert decision.server == server("i-1")
+
+
+def test_an_opening_waits_while_every_server_is_full():
+    made, placer = asking_router(server("i-1"))
+    head = opening()
+    made.handle(head, SETTLED)
+    made.waiting.put(head, b"one", SETTLED)
+    full = PlaceAnswer(placer, head.flow, server("i-1").token, True, 0)
+    assert made.take_answer(full, SETTLED) is None
+    assert isinstance(made.handle(head, SETTLED + 0.05), Ask)
+
+
+def test_a_flow_is_placed_here_when_no_answer_comes():
+    made, placer = asking_router(server("i-1"))
+    made.handle(opening(), SETTLED)
+    assert made.handle(opening(), SETTLED + 0.02) == Wait("asked")
+    assert isinstance(made.handle(opening(), SETTLED + 0.05), Forward)
+    assert isinstance(made.handle(opening(2), SETTLED + 0.06), Forward)
+
+
+def test_a_flow_is_chosen_for_another_vm_by_all_work_in_the_zone():
+    first, second = server("i-1"), server("i-2")
+    made = router(first, second)
+    chosen = set()
+    for caller in range(2):
+        flow = flow_of(caller, ROUTE)
+        question = PlaceQuestion("e2", flow, "entries", (), False)
+        chosen.add(made.place_for(question, SETTLED).token)
+    assert chosen == {first.token, second.token}
+
+
+def test_no_server_is_named_where_there_is_none():
+    question = PlaceQuestion("e2", flow_of(1, ROUTE), "entries", (), False)
+    answer = router().place_for(question, SETTLED)
+    assert (answer.token, answer.grant) == (0, 0)
+
+
+def test_a_large_zone_tells_only_those_that_place():
+    made = router(server("i-1"))
+    made.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
+    made.handle(data(server("i-1").token), SETTLED)
+    told = [vm for vm, _ in made.tell(SETTLED)]
+    placer = made.placers.placer("entries", SETTLED)
+    assert told == [placer]
+    made.placers.set_peers(("e1", "e2", "e3"))
+    assert sorted(vm for vm, _ in made.tell(SETTLED + 1.0)) == ["e2", "e3"]
--- /dev/null
+++ b/libs/tokens/tests/test_work.py
@@ -0,0 +1,120 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.work import LoadShare, SharedWork, Telling, ZoneWork
+
+SETTINGS = TokenSettings("e1", "a")
+
+
+@pytest.fixture
+def zone():
+    return ZoneWork(SETTINGS)
+
+
+def share(*work, sender="e2", number=1, is_whole=True, grant=0):
+    return LoadShare(sender, number, is_whole, grant, work)
+
+
+def work(token, busy=1, open_flows=1, is_avoided=False):
+    return SharedWork(token, busy, open_flows, is_avoided)
+
+
+def sums(zone):
+    return {token: (one.busy, one.open) for token, one in zone.totals.items()}
+
+
+def test_work_is_summed_over_the_vms_that_tell(zone):
+    zone.take(share(work(7, 2, 5)), 1.0)
+    zone.take(share(work(7, 1, 1), work(8), sender="e3"), 1.0)
+    assert sums(zone) == {7: (3, 6), 8: (1, 1)}
+
+
+def test_a_whole_message_replaces_all_that_was_told(zone):
+    zone.take(share(work(7), work(8)), 1.0)
+    zone.take(share(work(8, 3, 4), number=2), 1.1)
+    assert sums(zone) == {8: (3, 4)}
+
+
+def test_news_change_only_what_they_name(zone):
+    zone.take(share(work(7), work(8)), 1.0)
+    zone.take(share(work(8, 0, 0), number=2, is_whole=False), 1.1)
+    assert sums(zone) == {7: (1, 1)}
+
+
+def test_a_message_that_was_overtaken_changes_nothing(zone):
+    zone.take(share(work(7, 5, 5), number=9), 1.0)
+    zone.take(share(work(7, 1, 1), number=8, is_whole=False), 1.1)
+    assert sums(zone) == {7: (5, 5)}
+
+
+def test_a_new_process_of_a_vm_starts_its_numbers_anew(zone):
+    zone.take(share(work(7), number=900), 1.0)
+    zone.take(share(work(8), number=1), 1.1)
+    assert sums(zone) == {8: (1, 1)}
+
+
+def test_a_granted_flow_counts_until_its_vm_tells_of_it(zone):
+    granted = zone.grant("e2", 7, 1.0)
+    assert sums(zone) == {7: (1, 1)}
+    zone.take(share(work(7), grant=granted.number), 1.05)
+    assert sums(zone) == {7: (1, 1)}
+    zone.take(share(number=2, grant=granted.number), 1.1)
+    assert sums(zone) == {}
+
+
+def test_a_grant_that_came_to_nothing_counts_for_a_moment(zone):
+    zone.grant("e2", 7, 1.0)
+    zone.sweep(1.4)
+    assert sums(zone) == {7: (1, 1)}
+    zone.sweep(1.6)
+    assert sums(zone) == {}
+
+
+def test_a_vm_that_fell_silent_is_forgotten_with_its_work(zone):
+    zone.take(share(work(7)), 1.0)
+    zone.sweep(2.5)
+    assert sums(zone) == {7: (1, 1)}
+    zone.sweep(2.7)
+    assert (sums(zone), zone.tellers) == ({}, {})
+
+
+def test_only_changes_are_told_until_all_is_due_again():
+    telling = Telling()
+    first = telling.news("e1", 1, [work(7), work(8)], 1.0, 0.7)
+    assert first.is_whole and len(first.work) == 2
+    assert telling.news("e1", 2, [work(7), work(8)], 1.1, 0.7) is None
+    news = telling.news("e1", 2, [work(7, 2, 2)], 1.2, 0.7)
+    assert set(news.work) == {work(7, 2, 2), work(8, 0, 0)}
+    assert not news.is_whole
+    assert telling.news("e1", 3, [work(7, 2, 2)], 1.8, 0.7).is_whole
+
+
+def test_a_grant_that_was_used_is_told_though_no_work_changed():
+    telling = Telling()
+    telling.news("e1", 1, [], 1.0, 0.7)
+    telling.grant = 4
+    assert telling.news("e1", 2, [], 1.1, 0.7).grant == 4
+    assert telling.news("e1", 3, [], 1.2, 0.7) is None
+
+
+counts = st.integers(0, 3)
+states = st.dictionaries(st.integers(1, 5), st.tuples(counts, counts), max_size=5)
+
+
+@given(st.lists(st.tuples(states, st.booleans()), min_size=1, max_size=12))
+def test_whatever_gets_lost_the_next_whole_message_mends(steps):
+    zone, telling = ZoneWork(SETTINGS), Telling()
+    now = 0.0
+    for number, (state, is_lost) in enumerate(steps, 1):
+        now += 0.05
+        told = [work(token, *pair) for token, pair in state.items()]
+        news = telling.news("e1", number, told, now, 0.7)
+        if news is not None and not is_lost:
+            zone.take(news, now)
+    whole = telling.news("e1", len(steps) + 1, told, now + 0.7, 0.7)
+    zone.take(whole, now + 0.7)
+    assert sums(zone) == {token: pair for token, pair in state.items() if any(pair)}
