Spare the VM that places: no questions while all is full, none when it stops

Change: a VM that stops says so in its polls at once and is named no more; after an answer that all servers are full, that service is not asked for 0.04 s, and for 0.2 s at most 4 questions are open.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -135,6 +135,12 @@
             effects += [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
         return effects + self._share(now) + self._try_waiting(now)
 
+    def stop(self, now: float) -> list[Effect]:
+        """Let the fabric and the other VMs know that this one ends soon."""
+        self.is_stopping = True
+        self.follower.is_stopping = True
+        return [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
+
     def _route(self, head: Head, data: bytes, now: float) -> list[Effect]:
         decision = self.router.handle(head, now)
         return self._carry_out(decision, head, data, now)
@@ -245,7 +251,8 @@
         if held is None:
             return []
         decision = self.router.place_as(held.head, message, now)
-        return self._release(decision, held, now)
+        effects = self._release(decision, held, now)
+        return effects + self._try_waiting(now)
 
     @_take.register
     def _(self, message: TokenQuestion, now: float) -> list[Effect]:
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -91,7 +91,7 @@
         nursery.start_soon(watch_settings, parts.watch, core.follower)
         log_decision("started", role="entry", zone=settings.zone)
         await stopping.wait()
-        core.is_stopping = True
+        ports.carry_out(core.stop(trio.current_time()))
         await trio.sleep(settings.stop_s)
         nursery.cancel_scope.cancel()
     log_decision("stopped", role="entry")
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -189,3 +189,11 @@
     assert len(servers.done) == callers
     assert max(servers.deepest.values()) <= SLOTS + QUEUE
     assert max(servers.done.values()) < 0.6 + 1.4
+
+
+def test_a_vm_that_stops_tells_so_at_once_and_is_not_ready(core):
+    core.message("c1", answer(server(1), document=3, content=b"3"), 0.1)
+    assert core.is_ready(0.2)
+    polls = core.stop(0.3)
+    assert [(one.vm, one.message.is_stopping) for one in polls] == [("c1", True)]
+    assert not core.is_ready(0.4)
--- a/libs/daemons/tests/test_token_entry_zone.py
+++ b/libs/daemons/tests/test_token_entry_zone.py
@@ -221,3 +221,21 @@
     lost = {caller for caller, (vm, _) in zone.works.items() if vm == placer}
     assert len(lost | zone.done.keys()) == requests
     assert zone.shed == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_flood_that_finds_all_servers_full_asks_few_questions(seed):
+    """After a loss of all VMs the callers of seconds come within a moment.
+
+    They keep the servers busy for 1.2 s, as long as callers wait, and a VM that asked
+    for each of them at each tick would ask eight times a flow.
+    """
+    zone = Zone(3, 4, seed)
+    callers = 480
+    for caller in range(callers):
+        zone.at(0.1 + caller / 2000, zone.request, caller, 0.02)
+    zone.run(1.6)
+    assert zone.shed == 0
+    assert len(zone.done) == callers
+    asked = sum(core.counts["openings.asked"] for core in zone.cores.values())
+    assert asked < 3 * callers
--- a/libs/registry/src/kumquatmux_registry/feed.py
+++ b/libs/registry/src/kumquatmux_registry/feed.py
@@ -19,6 +19,7 @@
         position: Change of its table up to which the sender knows all.
         document: Number of the newest document that the sender holds.
         wants_push: Whether news and documents are to be pushed to it.
+        is_stopping: Whether it ends soon, so that others rely on it no more.
     """
 
     sender: VmId
@@ -28,6 +29,7 @@
     position: int
     document: int
     wants_push: bool
+    is_stopping: bool = False
 
 
 class FeedAnswer(NamedTuple):
--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -68,10 +68,12 @@
         document: The newest agreed document known.
         peers: Entry VMs of the own zone, this one included.
         sources: Control VMs by name.
+        is_stopping: Whether this VM ends soon.
     """
 
     def __init__(self, settings: FollowerSettings) -> None:
         self.settings = settings
+        self.is_stopping = False
         self.document = Document()
         self.peers: tuple[VmId, ...] = ()
         self.sources: dict[VmId, Source] = {}
@@ -187,6 +189,7 @@
             source.position,
             self.document.number,
             mine.is_control or vm == primary or is_behind or primary is None,
+            self.is_stopping,
         )
 
     def _preference(self, vm: VmId) -> tuple[bool, bool, VmId]:
--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -98,11 +98,13 @@
         return tuple(sorted([self.settings.vm, *others]))
 
     def entries(self, zone: ZoneName) -> tuple[VmId, ...]:
-        """Return the entry VMs of a zone that are there."""
+        """Return the entry VMs of a zone that are there and stay."""
         found = [
             vm
             for vm, one in self.followers.items()
-            if one.poll.zone == zone and not one.poll.is_control
+            if one.poll.zone == zone
+            and not one.poll.is_control
+            and not one.poll.is_stopping
         ]
         return tuple(sorted(found))
 
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -197,3 +197,11 @@
         exchange(mine, source, 0.0)
     assert [vm for vm, _ in mine.polls(0.1)] == ["c1", "c2"]
     assert [vm for vm, _ in mine.polls(2.0)] == ["c1", "c2", "c3"]
+
+
+def test_an_entry_vm_that_stops_is_named_no_more():
+    source = publisher()
+    mine = follower()
+    assert exchange(mine, source, 0.0)[0].entries == ("e1",)
+    mine.is_stopping = True
+    assert exchange(mine, source, 0.1)[0].entries == ()
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 from kumquatmux_core.decisions import log as log_decision
@@ -55,6 +56,7 @@
         self.tellings: dict[VmId, Telling] = {}
         self.shares = 0
         self.served_at: dict[ServiceName, float] = {}
+        self.full_at: dict[ServiceName, float] = {}
 
     def handle(self, head: Head, now: float) -> Decision:
         """Return what is to be done with a packet."""
@@ -88,7 +90,14 @@
         """Take a choice; return the opening packet that may go on, if there is one."""
         self.placers.answered(answer.sender, answer.flow)
         held = self.waiting.by_flow.get(answer.flow)
-        return None if held is None or answer.is_full else held
+        if held is None:
+            return None
+        route = self.routes.routes.get(held.head.route)
+        service = route.service_for(answer.flow) if route else ServiceName("")
+        if answer.is_full:
+            self.full_at[service] = now
+            return None
+        return held
 
     def place_as(self, head: Head, answer: PlaceAnswer, now: float) -> Decision:
         """Send an opening packet to the server chosen for it, if that may take it."""
@@ -155,6 +164,8 @@
         placer = self.placers.placer(service, now)
         if placer == self.settings.vm:
             return self._place_here(head, service, now)
+        if self._is_full(service, now):
+            return Wait("no-slot")
         self.placers.ask(placer, head.flow, now)
         is_long = self.load.is_long(head.route)
         me = self.settings.vm
@@ -182,6 +193,18 @@
         )
         return Forward(choice.entry.record, token)
 
+    def _is_full(self, service: ServiceName, now: float) -> bool:
+        """Return whether another VM said a moment ago that all servers are full.
+
+        Else it would be asked for each opening that waits at each tick, and do little
+        but refuse.
+        """
+        full_s = now - self.full_at.get(service, -math.inf)
+        if full_s < self.settings.full_s:
+            return True
+        is_cautious = full_s < self.settings.cautious_s
+        return is_cautious and len(self.placers.asked) >= self.settings.cautious_asked
+
     def _choose(self, service: ServiceName, opening: Opening) -> Choice | None:
         clashing = self.directory.clashing
         entries = self.directory.servers(service)
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -31,6 +31,9 @@
         silent_placer_s: Seconds for which a VM that gave no answer is not asked;
             doubles with each further time.
         silent_placer_max_s: Longest time for which it is not asked.
+        full_s: Seconds for which a service whose servers are all full is not tried.
+        cautious_s: Seconds after that in which few openings are tried at once.
+        cautious_asked: Questions that may be open meanwhile.
         grant_s: Seconds for which a flow placed for another VM counts if that VM
             does not tell of it.
         settle_s: Seconds a new server is known before flows are placed on it, so
@@ -80,6 +83,9 @@
     answer_s: float = 0.03
     silent_placer_s: float = 1.0
     silent_placer_max_s: float = 8.0
+    full_s: float = 0.04
+    cautious_s: float = 0.2
+    cautious_asked: int = 4
     grant_s: float = 0.5
     settle_s: float = 0.1
     ended_s: float = 1.0
