Tell a soak's progress and each violation while it runs

Cause: 'make soak RUNS=150' printed nothing in 400 s, since reports came only when all kinds had ended. Change: a line on standard error each tenth of the runs and at each violation, and a kind's report when that kind has ended.

--- a/libs/lab/src/kumquatmux_lab/cli.py
+++ b/libs/lab/src/kumquatmux_lab/cli.py
@@ -44,13 +44,19 @@
     if what not in (*kinds, "all"):
         fail(f"--what: must be one of {', '.join(kinds)}, all")
     chosen = kinds if what == "all" else (what,)
-    reports = run_soak(SoakSettings(seed, runs, chosen, workers))
-    for report in reports:
+    is_broken = False
+    for report in run_soak(SoakSettings(seed, runs, chosen, workers), tell_progress):
         typer.echo(format_report(report))
-    if any(report.violations for report in reports):
+        is_broken |= bool(report.violations)
+    if is_broken:
         raise typer.Exit(EXIT_VIOLATION)
 
 
+def tell_progress(line: str) -> None:
+    """Write how far a soak is to standard error."""
+    typer.echo(line, err=True)
+
+
 @app.command(context_settings={"ignore_unknown_options": True})
 def bench(
     name: Annotated[str, typer.Argument(help="Bench, such as placement.")],
--- a/libs/lab/src/kumquatmux_lab/soak.py
+++ b/libs/lab/src/kumquatmux_lab/soak.py
@@ -6,7 +6,7 @@
 import importlib.util
 import multiprocessing
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from kumquatmux_core import decisions
@@ -16,7 +16,12 @@
 MODULE_PREFIX = "kumquatmux_lab.faultruns."
 RUNS_A_TASK = 4
 
+PROGRESS_PARTS = 10
+"""Lines of progress that the runs of one kind are told in."""
+
 Runner = Callable[[int], RunReport]
+Tell = Callable[[str], None]
+"""Takes a line of progress."""
 
 
 class SoakSettings(NamedTuple):
@@ -83,32 +88,44 @@
 
 
 def soak(
-    settings: SoakSettings, choose: Callable[[str], Runner] = runner_of
-) -> list[SoakReport]:
-    """Run every kind with every seed."""
-    return [soak_kind(settings, what, choose(what)) for what in settings.what]
+    settings: SoakSettings, tell: Tell, choose: Callable[[str], Runner] = runner_of
+) -> Iterator[SoakReport]:
+    """Run every kind with every seed; a kind's report comes when it has ended."""
+    for what in settings.what:
+        yield soak_kind(settings, what, choose(what), tell)
 
 
-def soak_kind(settings: SoakSettings, what: str, runner: Runner) -> SoakReport:
+def soak_kind(
+    settings: SoakSettings, what: str, runner: Runner, tell: Tell
+) -> SoakReport:
     """Run one kind with every seed."""
     seeds = range(settings.seed, settings.seed + settings.runs)
     if settings.workers <= 1:
         be_quiet()
-        return summarize(what, map(runner, seeds))
+        return summarize(settings, what, map(runner, seeds), tell)
     context = multiprocessing.get_context("spawn")
     with context.Pool(settings.workers, initializer=be_quiet) as pool:
-        return summarize(what, pool.imap(runner, seeds, RUNS_A_TASK))
+        reports = pool.imap(runner, seeds, RUNS_A_TASK)
+        return summarize(settings, what, reports, tell)
 
 
-def summarize(what: str, reports: Iterable[RunReport]) -> SoakReport:
-    """Gather the reports of one kind."""
+def summarize(
+    settings: SoakSettings, what: str, reports: Iterable[RunReport], tell: Tell
+) -> SoakReport:
+    """Gather the reports of one kind and tell how far they are."""
     runs = 0
     faults: Counter[str] = Counter()
     broken: list[Violation] = []
+    part = max(settings.runs // PROGRESS_PARTS, 1)
     for report in reports:
         runs += 1
         faults.update(report.faults)
-        broken += [Violation(what, report.seed, text) for text in report.violations]
+        found = [Violation(what, report.seed, text) for text in report.violations]
+        for violation in found:
+            tell(f"{what}: violation at seed {report.seed}: {violation.text}")
+        broken += found
+        if runs % part == 0:
+            tell(f"{what}: {runs} of {settings.runs} runs, {len(broken)} violations")
     return SoakReport(what, runs, faults, tuple(broken))
 
 
--- a/libs/lab/tests/test_soak.py
+++ b/libs/lab/tests/test_soak.py
@@ -37,7 +37,7 @@
 
 def test_failing_seed_is_reported_with_a_command_that_repeats_it(stubbed):
     settings = soak.SoakSettings(10, 5, ("flows",), workers=1)
-    [report] = soak.soak(settings)
+    [report] = soak.soak(settings, print)
     [violation] = report.violations
     text = soak.format_report(report)
     command = soak.command_of(violation)
@@ -50,11 +50,40 @@
 
 def test_worker_processes_find_what_one_process_finds():
     settings = soak.SoakSettings(10, 6, ("stub",), workers=2)
-    spread = soak.soak_kind(settings, "stub", stub_run)
-    alone = soak.soak_kind(settings._replace(workers=1), "stub", stub_run)
+    spread = soak.soak_kind(settings, "stub", stub_run, print)
+    alone = soak.soak_kind(settings._replace(workers=1), "stub", stub_run, print)
     assert spread == alone
 
 
+def test_progress_and_violations_are_told_while_it_runs():
+    told = []
+
+    def run_and_look(seed):
+        seen.append(len(told))
+        return stub_run(seed)
+
+    seen = []
+    settings = soak.SoakSettings(1, 20, ("flows",), workers=1)
+    soak.soak_kind(settings, "flows", run_and_look, told.append)
+    assert seen[0] == 0 and seen[10] == 5
+    assert told[0] == "flows: 2 of 20 runs, 0 violations"
+    assert f"flows: violation at seed {BAD_SEED}: a flow was lost" in told
+    assert told[-1] == "flows: 20 of 20 runs, 1 violations"
+
+
+def test_a_kinds_report_comes_before_the_next_kind_runs():
+    asked = []
+
+    def choose(what):
+        asked.append(what)
+        return stub_run
+
+    settings = soak.SoakSettings(1, 2, ("one", "two"), workers=1)
+    reports = soak.soak(settings, print, choose)
+    assert next(reports).what == "one"
+    assert asked == ["one"]
+
+
 def test_unknown_kind_is_one_line():
     done = CliRunner().invoke(app, ["soak", "--what", "weather"])
     assert done.exit_code == 2
