Split the worlds of the site and membership fault runs

Change: site_entry.py, site_backend.py and membership_server.py take the entry VM, the backend server and its calls; a backend server makes its own calls.

--- a/libs/daemons/tests/test_node.py
+++ b/libs/daemons/tests/test_node.py
@@ -22,7 +22,7 @@
 
     monkeypatch.setattr(node, "spread_servers", refresh)
     backend.session += 1
-    call = world.announcement(backend)
+    call = backend.announcement()
     ticket = node.answer_server(call, world.now).ticket
     answer = node.answer_server(call._replace(ticket=ticket), world.now)
     assert answer.state == LeaseState.GRANTED
--- a/libs/lab/src/kumquatmux_lab/faultruns/membership.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/membership.py
@@ -12,7 +12,8 @@
     Expected,
     Settled,
 )
-from kumquatmux_lab.faultruns.membership_world import ServerAgent, Tuning, World
+from kumquatmux_lab.faultruns.membership_server import ServerAgent
+from kumquatmux_lab.faultruns.membership_world import Tuning, World
 from kumquatmux_lab.faultruns.report import RunReport
 from kumquatmux_membership.events import Leave
 from kumquatmux_membership.phases import Phase
--- a/libs/lab/src/kumquatmux_lab/faultruns/site.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/site.py
@@ -205,7 +205,7 @@
         if len(backends) < 3:
             return ""
         backend = self.random.choice(backends)
-        self.world.retire(backend, leave=leave)
+        backend.retire(leave=leave)
         return backend.server.name
 
 
--- a/libs/lab/src/kumquatmux_lab/faultruns/site_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/site_world.py
@@ -10,9 +10,8 @@
 import itertools
 import math
 import random
-from collections import Counter
 from collections.abc import Callable
-from typing import Any, NamedTuple, cast
+from typing import Any, NamedTuple
 
 import dpkt
 
@@ -25,37 +24,23 @@
     VmId,
     ZoneName,
 )
-from kumquatmux_daemons.entry.node import EntryNode, NodeParts
-from kumquatmux_daemons.entry.port import PacketPort
-from kumquatmux_daemons.transport.links import Delivery, PeerLinks
+from kumquatmux_daemons.transport.links import Delivery
 from kumquatmux_daemons.transport.registry import all_messages
 from kumquatmux_lab.faultruns import site_history as history
+from kumquatmux_lab.faultruns.site_backend import RENEW_S, Backend
+from kumquatmux_lab.faultruns.site_entry import CONTROL, FABRIC, Running
 from kumquatmux_lab.standin.caller import Fate, StandInCaller
 from kumquatmux_lab.standin.server import ServerSettings, StandInServer
 from kumquatmux_lab.standin.work import Request
-from kumquatmux_membership.events import (
-    Announce,
-    Depart,
-    Drain,
-    Lease,
-    LeaseState,
-    Ticket,
-)
-from kumquatmux_membership.phases import Phase, version_of
 from kumquatmux_settings.change import Edit
 from kumquatmux_settings.digest import digest_of
 from kumquatmux_settings.messages import Current, Snapshot
 
-FABRIC = Endpoint("127.66.0.1", 4500)
-KEY = bytes(32)
 TICK_S = 0.025
 ENDS_TICK_S = 0.05
-RENEW_S = 1.0
-RENEW_RETRY_S = 0.2
 LINK_S = 0.005
 CALLER_S = 0.001
 FABRIC_NOTICES_S = 1.0
-CONTROL = VmId("control-1")
 PUSH_S = 1.0
 
 
@@ -79,67 +64,6 @@
     loss: float = 0.0
 
 
-class FakePort:
-    """A port whose datagrams the world carries."""
-
-    def __init__(self, world: World, vm: VmId) -> None:
-        self.world = world
-        self.vm = vm
-        self.counts: Counter[str] = Counter()
-
-    def send(self, data: bytes | bytearray, target: tuple[str, int]) -> None:
-        """Send a datagram."""
-        self.world.carry(self.vm, bytes(data), Endpoint(*target))
-
-
-class FakeLinks:
-    """Links whose messages the world carries, encoded as on the wire."""
-
-    def __init__(self, world: World, vm: VmId) -> None:
-        self.world = world
-        self.vm = vm
-
-    def send(self, vm: VmId, message: Any) -> bool:
-        """Send a message."""
-        return self.world.carry_message(self.vm, vm, message)
-
-
-class Running:
-    """One entry VM in one incarnation."""
-
-    def __init__(self, world: World, vm: Vm) -> None:
-        self.vm = vm
-        self.node = EntryNode(
-            NodeParts(
-                me=vm,
-                peers=tuple(v for v in world.vms if v.vm != vm.vm),
-                sources=frozenset({CONTROL}),
-                fabric=FABRIC,
-                key=KEY,
-                port=cast(PacketPort, FakePort(world, vm.vm)),
-                links=cast(PeerLinks, FakeLinks(world, vm.vm)),
-                random=random.Random(world.random.getrandbits(64)),
-            )
-        )
-        self.paused_until = 0.0
-        self.revision = -1
-
-
-class Backend:
-    """A backend server and its calls to the entry VMs of its zone."""
-
-    def __init__(self, server: StandInServer, zone: ZoneName, session: int) -> None:
-        self.server = server
-        self.zone = zone
-        self.session = session
-        self.tickets: dict[tuple[VmId, int], Ticket] = {}
-        self.entry = 0
-        self.is_draining = False
-        self.has_left = False
-        self.is_dead = False
-        self.accepted = 0
-
-
 class World:
     """Everything of one run; ``at`` and ``after`` schedule, ``run_until`` runs."""
 
@@ -194,9 +118,10 @@
     ) -> Backend:
         """Start a backend server, on an address that another may have had."""
         settings = ServerSettings(endpoint, service, self.plan.slots)
-        backend = Backend(StandInServer(settings, self.random), zone, int(self.now))
+        server = StandInServer(settings, self.random)
+        backend = Backend(self, server, zone, int(self.now))
         self.backends[endpoint.packed] = backend
-        self.after(self.random.random() * RENEW_S, lambda: self.renew(backend))
+        self.after(self.random.random() * RENEW_S, backend.renew)
         return backend
 
     def at(self, when: float, call: Callable[[], None]) -> None:
@@ -458,60 +383,6 @@
         number = caller.request.request_id
         self.note(history.FlowSilenced(self.now, number))
 
-    # Backend servers
-
-    def renew(self, backend: Backend) -> None:
-        """Announce a backend server at an entry VM of its zone, again and again."""
-        if backend.has_left or backend.is_dead:
-            return
-        granted = self._call(backend, self.announcement(backend))
-        if not granted:
-            backend.entry += 1
-        pause = RENEW_S if granted else RENEW_RETRY_S
-        self.after(pause, lambda: self.renew(backend))
-
-    def retire(self, backend: Backend, *, leave: bool) -> None:
-        """Drain a backend server or let it leave, until an entry VM took the call."""
-        backend.is_draining = True
-        kind = Depart if leave else Drain
-        name = backend.server.name
-        service = backend.server.settings.service
-        if self._call(backend, kind(name, backend.session, service)):
-            backend.has_left = leave
-            self.note(history.RetireAccepted(self.now, name))
-            return
-        backend.entry += 1
-        self.after(RENEW_RETRY_S, lambda: self.retire(backend, leave=leave))
-
-    def announcement(self, backend: Backend) -> Announce:
-        """Return what a backend server says of itself."""
-        settings = backend.server.settings
-        phase = Phase.DRAINING if backend.is_draining else Phase.LIVE
-        lease = Lease(
-            server=backend.server.name,
-            endpoint=settings.endpoint,
-            service=settings.service,
-            zone=backend.zone,
-            slots=settings.slots,
-            connections=2_000,
-            draining=backend.is_draining,
-            left=False,
-            version=version_of(backend.session, phase),
-        )
-        return Announce(lease)
-
-    def _call(self, backend: Backend, event: Announce | Drain | Depart) -> bool:
-        names = [v.vm for v in self.vms if v.zone == backend.zone]
-        running = self.running.get(names[backend.entry % len(names)])
-        if running is None or self.now < running.paused_until:
-            return False
-        key = (running.vm.vm, running.vm.incarnation)
-        if isinstance(event, Announce):
-            event = event._replace(ticket=backend.tickets.get(key))
-        answer = running.node.answer_server(event, self.now)
-        backend.tickets[key] = answer.ticket
-        return answer.state in (LeaseState.GRANTED, LeaseState.IN_FORCE)
-
     # Settings
 
     def change(self, edits: tuple[Edit, ...]) -> None:
