--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -246,9 +246,10 @@
     answers = 2 * NODES / CONTROL_VMS * s["feed_answer_bytes"] * polled / 3
     zone_vms = NODES / ZONES
     zone_servers = SERVERS / ZONES
-    share = s["load_share_bytes"] + 4 * s["load_server_bytes"]
-    mesh = (zone_vms - 1) * 20 * share
-    near = 8 * 20 * share
+    change = s["load_share_bytes"] + s["load_server_bytes"]
+    asked = NEW_FLOWS / NODES * (s["place_question_bytes"] + s["place_answer_bytes"])
+    changes = 2 * NEW_FLOWS / NODES * change
+    placing = asked + changes
     restarts = RESTARTS_A_DAY / DAY_S / ZONES
     news = restarts * zone_vms / 2 * s["feed_record_bytes"]
     new_flows = NEW_FLOWS / NODES * s["token_new_flow_us"] / 1e4
@@ -261,22 +262,22 @@
             "built",
         ),
         Row(
-            "counts, to every VM of a zone",
-            f"{zone_vms - 1:.0f} x 20/s x {share:.0f} B",
-            kb(mesh),
-            "built; " + verdict(mesh < LIMIT_BYTES),
+            "questions for a server, and answers",
+            f"107/s x {s['place_question_bytes'] + s['place_answer_bytes']:.0f} B",
+            kb(asked),
+            "built; " + verdict(asked < LIMIT_BYTES),
         ),
         Row(
-            "counts, to 8 VMs with the same addresses",
-            f"8 x 20/s x {share:.0f} B",
-            kb(near),
-            "designed; " + verdict(near < LIMIT_BYTES),
+            "changes of counts, one to a placer",
+            f"2 x 107/s x {change:.0f} B",
+            kb(changes),
+            "built; " + verdict(changes < LIMIT_BYTES),
         ),
         Row(
-            "the same once a second while nothing changes",
-            f"8 x {share:.0f} B",
-            kb(near / 20),
-            "designed",
+            "placing in sum, limit 6 KB/s",
+            "a flow of its own address each, nothing batched",
+            kb(placing),
+            "built; " + verdict(placing < LIMIT_BYTES),
         ),
         Row(
             "answers sent by a control VM",
