Say what the stand-in server of the zone's tests is

Cause: its docstring named a cold start that it does not have. Change: the words only; the tests are unchanged. Result: the module's twelve tests pass.

--- a/libs/daemons/tests/test_token_entry_zone.py
+++ b/libs/daemons/tests/test_token_entry_zone.py
@@ -60,7 +60,7 @@
 
 
 class Server:
-    """A backend server with slots, a queue and a cold start."""
+    """A backend server with slots and a queue."""
 
     def __init__(self):
         self.running = 0
