--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 $(VENV)/stamp: constraints.txt $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt setuptools wheel
-	$(BIN)/pip install -q -c constraints.txt --no-build-isolation $(EDITABLE) ruff mypy pytest pytest-trio hypothesis
+	$(BIN)/pip install -q -c constraints.txt --no-build-isolation $(EDITABLE) ruff mypy pytest pytest-trio hypothesis jedi
 	touch $@
 
 demo: setup
