Record what the base sends, stores and names, and test it

Cause: the wording change must leave bytes, stored files and outer names as they are, and a rename can reach them through class names, enum members, fields and validation texts. Found on the way: the text against a change is stored with its outcome in the replicated settings log, so these texts travel and stay letter for letter.

--- /dev/null
+++ b/tests/test_recorded_bytes.py
@@ -0,0 +1,144 @@
+"""What commit a52bc75 sent and stored is read, and written again to the same bytes."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from kumquatmux_agreement.messages import MESSAGE_TYPES as REPLICA_MESSAGES
+from kumquatmux_core.codec import registry
+from kumquatmux_daemons.transport.parts import Cutter, Joiner
+from kumquatmux_daemons.transport.registry import all_messages
+from kumquatmux_packets.envelope import seal, unseal
+from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
+from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
+from kumquatmux_registry.saved import decode as decode_servers
+from kumquatmux_registry.saved import encode as encode_servers
+from kumquatmux_settings.changelog import (
+    ChangeLog,
+    ChangeLogSettings,
+    decode_change,
+    encode_change,
+)
+from kumquatmux_settings.documents import DocumentLog
+from kumquatmux_settings.validate import validate
+from kumquatmux_storage import files
+from kumquatmux_storage.memory import MemoryDisk
+from kumquatmux_storage.store import log_bytes, open_store
+from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
+
+RECORDED = Path(__file__).parent / "recorded"
+CHANNELS = {
+    "links": all_messages(),
+    "datagrams": registry(
+        REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES, TOKEN_MESSAGES
+    ),
+}
+
+
+def recorded(name):
+    return json.loads((RECORDED / f"{name}.json").read_text())
+
+
+def recorded_messages():
+    for channel, kinds in recorded("messages").items():
+        for kind, row in kinds.items():
+            for number, text in enumerate(row["bytes"]):
+                name = f"{channel}-{row['name']}-{number}"
+                yield pytest.param(channel, int(kind, 16), text, id=name)
+
+
+@pytest.mark.parametrize("channel", CHANNELS)
+def test_every_message_kind_is_recorded_under_its_name(channel):
+    now = {f"{kind:#06x}": t.__name__ for kind, t in CHANNELS[channel].types.items()}
+    base = {kind: row["name"] for kind, row in recorded("messages")[channel].items()}
+    assert now == base
+
+
+@pytest.mark.parametrize("channel, kind, text", list(recorded_messages()))
+def test_a_recorded_message_is_written_again_to_the_same_bytes(channel, kind, text):
+    data = bytes.fromhex(text)
+    message = CHANNELS[channel].decode(data).ok
+    assert type(message) is CHANNELS[channel].types[kind]
+    assert CHANNELS[channel].encode(message) == data
+
+
+@pytest.mark.parametrize("text", recorded("envelopes")["envelopes"])
+def test_a_recorded_envelope_is_sealed_again_to_the_same_bytes(text):
+    key = bytes.fromhex(recorded("envelopes")["key"])
+    data = bytes.fromhex(text)
+    opened = unseal(data, key=key).ok
+    assert seal(*opened, key=key) == data
+
+
+def test_recorded_datagrams_join_and_are_cut_again_to_the_same_bytes():
+    cutter, joiner = Cutter(recorded("datagrams")["first"]), Joiner()
+    for row in recorded("datagrams")["messages"]:
+        message = bytes.fromhex(row["message"])
+        datagrams = [bytes.fromhex(text) for text in row["datagrams"]]
+        joined = [joiner.take("127.0.0.1", datagram, 0.0) for datagram in datagrams]
+        assert joined == [None] * (len(datagrams) - 1) + [message]
+        assert cutter.cut(message) == datagrams
+
+
+@pytest.mark.parametrize("label", recorded("folders"))
+def test_a_recorded_data_folder_opens_and_is_written_again_to_the_same_bytes(label):
+    base = recorded("folders")[label]
+    disk = MemoryDisk()
+    for name, text in base["files"].items():
+        disk.replace(name, bytes.fromhex(text))
+    state = open_store(disk).ok.restored
+    assert msgspec.json.decode(msgspec.json.encode(state)) == base["restored"]
+    for name, record in (
+        (files.IDENTITY, files.read_record(disk, files.IDENTITY, files.Identity).ok),
+        (files.VOTE, state.vote),
+        (files.SNAPSHOT, state.snapshot),
+    ):
+        assert files.whole_file(name, record).hex() == base["files"][name]
+    if files.SYNCED in base["files"]:
+        note = files.read_record(disk, files.SYNCED, files.SyncedLength).ok
+        assert files.whole_file(files.SYNCED, note).hex() == base["files"][files.SYNCED]
+
+
+def test_a_recorded_log_file_is_written_again_to_the_same_bytes():
+    text = recorded("folders")["founded"]["files"][files.LOG]
+    disk = MemoryDisk()
+    disk.replace(files.LOG, bytes.fromhex(text))
+    log = files.read_log(disk).ok
+    assert log_bytes(log.base, log.entries).hex() == text
+
+
+def test_recorded_changes_run_again_to_the_same_outcomes_and_snapshot():
+    base = recorded("changelog")
+    log = ChangeLog(ChangeLogSettings(), validate)
+    for index, text in enumerate(base["entries"], 1):
+        entry = bytes.fromhex(text)
+        assert encode_change(decode_change(entry).ok) == entry
+        assert list(log.apply(index, entry)) == base["outcomes"][index - 1]
+    assert log.snapshot().hex() == base["snapshot"]
+
+
+def test_a_recorded_snapshot_of_settings_is_restored_and_taken_again():
+    snapshot = bytes.fromhex(recorded("changelog")["snapshot"])
+    log = ChangeLog(ChangeLogSettings(), validate)
+    assert log.restore(snapshot).is_ok()
+    assert log.snapshot() == snapshot
+
+
+def test_recorded_documents_are_applied_and_the_snapshot_is_the_same():
+    base = recorded("documents")
+    documents = DocumentLog()
+    for text in base["entries"]:
+        documents.apply(bytes.fromhex(text))
+    assert documents.snapshot().hex() == base["snapshot"]
+    restored = DocumentLog()
+    restored.restore(bytes.fromhex(base["snapshot"]))
+    assert restored.snapshot().hex() == base["snapshot"]
+
+
+def test_the_recorded_file_of_servers_is_written_again_to_the_same_bytes():
+    data = bytes.fromhex(recorded("servers")["servers"])
+    assert encode_servers(decode_servers(data).ok) == data
