--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -12,6 +12,7 @@
 from kumquatmux_core.codec import registry
 from kumquatmux_daemons.transport.parts import Cutter, Joiner
 from kumquatmux_daemons.transport.registry import all_messages
+from kumquatmux_lab.cli import compare_results, read_result
 from kumquatmux_packets.envelope import seal, unseal
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
@@ -23,14 +24,17 @@
     decode_change,
     encode_change,
 )
+from kumquatmux_settings.digest import digest_of
 from kumquatmux_settings.documents import DocumentLog
+from kumquatmux_settings.tree_file import load_tree
 from kumquatmux_settings.validate import validate
 from kumquatmux_storage import files
 from kumquatmux_storage.memory import MemoryDisk
 from kumquatmux_storage.store import log_bytes, open_store
 from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
 
-RECORDED = Path(__file__).parent / "recorded"
+ROOT = Path(__file__).resolve().parent.parent
+RECORDED = ROOT / "tests" / "recorded"
 CHANNELS = {
     "links": all_messages(),
     "datagrams": registry(
@@ -142,3 +146,16 @@
 def test_the_recorded_file_of_servers_is_written_again_to_the_same_bytes():
     data = bytes.fromhex(recorded("servers")["servers"])
     assert encode_servers(decode_servers(data).ok) == data
+
+
+@pytest.mark.parametrize("folder", recorded("files")["trees"])
+def test_a_tree_file_gives_the_recorded_values(folder):
+    values = load_tree(ROOT / "deploy" / folder / "tree.toml").ok
+    assert digest_of(values) == recorded("files")["trees"][folder]
+
+
+def test_recorded_experiments_are_compared_as_before():
+    base = recorded("files")
+    folder = ROOT / "docs" / "measurements" / "experiments"
+    left, right = (read_result(folder / name) for name in base["experiments"])
+    assert compare_results(left, right) == base["comparison"]
