--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -25,7 +25,7 @@
     Send,
     TakeSnapshot,
 )
-from kumquatmux_agreement.leadership import Leadership
+from kumquatmux_agreement.leadership import LeaderState
 from kumquatmux_agreement.log import Log
 from kumquatmux_agreement.messages import Message
 from kumquatmux_agreement.settings import ReplicaSettings
@@ -97,7 +97,7 @@
         self.commit = restored.snapshot.log_index
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
-        self.leadership: Leadership | None = None
+        self.leadership: LeaderState | None = None
         self.election: Election | None = None
         self.incoming: IncomingSnapshot | None = None
         self.failure: Problem | None = None
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -45,7 +45,7 @@
     round: int
 
 
-class Leadership:
+class LeaderState:
     """The leader's knowledge of its followers and of what it owes answers for.
 
     Attributes:
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -5,7 +5,7 @@
 from kumquatmux_agreement.core import ReplicaCore
 from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, ReplicaId
 from kumquatmux_agreement.events import Outcome, Reply, Role
-from kumquatmux_agreement.leadership import Leadership, PendingRead, Progress
+from kumquatmux_agreement.leadership import LeaderState, PendingRead, Progress
 from kumquatmux_agreement.membership import (
     ALLOWED_SIZES,
     MembershipView,
@@ -25,7 +25,7 @@
 def become_leader(core: ReplicaCore) -> None:
     """Begin to lead: an entry of the own term first."""
     core.election = None
-    core.leadership = Leadership(core.settings, core.log, core.clock, core.now)
+    core.leadership = LeaderState(core.settings, core.log, core.clock, core.now)
     core.set_role(Role.LEADER, core.me)
     append_entry(core, EntryKind.EMPTY)
     broadcast(core)
@@ -44,7 +44,9 @@
     return index
 
 
-def propose(core: ReplicaCore, leadership: Leadership, data: bytes, token: str) -> None:
+def propose(
+    core: ReplicaCore, leadership: LeaderState, data: bytes, token: str
+) -> None:
     """Put bytes into the log, or refuse before they enter it."""
     problem = _refusal(core, leadership, data)
     if problem is not None:
@@ -55,7 +57,7 @@
     send_entries(core, leadership)
 
 
-def read(core: ReplicaCore, leadership: Leadership, token: str) -> None:
+def read(core: ReplicaCore, leadership: LeaderState, token: str) -> None:
     """Answer a read at once under the lease, else after a round."""
     if core.commit < leadership.first_index:
         problem = Problem("not-ready", "the leader has not committed an entry yet")
@@ -70,7 +72,7 @@
 
 
 def change_membership(
-    core: ReplicaCore, leadership: Leadership, vms: tuple[VmId, ...], token: str
+    core: ReplicaCore, leadership: LeaderState, vms: tuple[VmId, ...], token: str
 ) -> None:
     """Put the wanted VMs into the log; the steps follow one at a time."""
     current = core.log.configuration
@@ -91,7 +93,7 @@
     send_entries(core, leadership)
 
 
-def tick(core: ReplicaCore, leadership: Leadership) -> None:
+def tick(core: ReplicaCore, leadership: LeaderState) -> None:
     """Step down without a quorum, send heartbeats, move membership on."""
     live = leadership.live(core.clock)
     has_grace = core.clock - leadership.since < core.settings.election_timeout_s
@@ -117,7 +119,7 @@
         send_next(core, leadership, member, progress)
 
 
-def send_entries(core: ReplicaCore, leadership: Leadership) -> None:
+def send_entries(core: ReplicaCore, leadership: LeaderState) -> None:
     """Send members the entries they lack, as far as the window allows."""
     for member, progress in leadership.progress.items():
         has_more = progress.next <= core.log.last_index
@@ -190,7 +192,7 @@
             send_next(core, leadership, member, progress)
 
 
-def answer_reads(core: ReplicaCore, leadership: Leadership) -> None:
+def answer_reads(core: ReplicaCore, leadership: LeaderState) -> None:
     """Answer the reads whose round a quorum has answered."""
     if not leadership.reads:
         return
@@ -203,7 +205,7 @@
             core.out.append(reply)
 
 
-def _refusal(core: ReplicaCore, leadership: Leadership, data: bytes) -> Problem | None:
+def _refusal(core: ReplicaCore, leadership: LeaderState, data: bytes) -> Problem | None:
     if not core.log.configuration.is_ready:
         voters = len(core.log.configuration.voters)
         wanted = len(core.log.configuration.vms)
@@ -215,12 +217,12 @@
     return None
 
 
-def _may_change(core: ReplicaCore, leadership: Leadership) -> bool:
+def _may_change(core: ReplicaCore, leadership: LeaderState) -> bool:
     has_own = core.commit >= leadership.first_index
     return has_own and core.commit >= core.log.configuration_index
 
 
-def _move_membership(core: ReplicaCore, leadership: Leadership) -> None:
+def _move_membership(core: ReplicaCore, leadership: LeaderState) -> None:
     configuration = core.log.configuration
     caught_up = frozenset(
         learner
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -6,7 +6,7 @@
 from kumquatmux_agreement.election import Election
 from kumquatmux_agreement.entries import VoteRecord
 from kumquatmux_agreement.events import Role, Send
-from kumquatmux_agreement.leadership import Leadership
+from kumquatmux_agreement.leadership import LeaderState
 from kumquatmux_agreement.leading import become_leader
 from kumquatmux_agreement.messages import StandNow, VoteReply, VoteRequest
 from kumquatmux_core.decisions import log as log_decision
@@ -86,7 +86,7 @@
         _stand_in_earnest(core, is_handover=True)
 
 
-def hand_over(core: ReplicaCore, leadership: Leadership) -> None:
+def hand_over(core: ReplicaCore, leadership: LeaderState) -> None:
     """Ask a voter that holds the whole log to lead instead, if there is one."""
     live = leadership.live(core.clock)
     for voter in core.log.configuration.voters:
