--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -13,7 +13,7 @@
 """Rounds whose time of sending is remembered."""
 
 
-class Progress:
+class ReplicationProgress:
     """How far one follower is.
 
     Attributes:
@@ -63,7 +63,7 @@
         self, settings: ReplicaSettings, log: Log, clock: float, now: float
     ) -> None:
         self.settings = settings
-        self.progress: dict[ReplicaId, Progress] = {}
+        self.progress: dict[ReplicaId, ReplicationProgress] = {}
         self.pending: dict[int, str] = {}
         self.reads: list[PendingRead] = []
         self.joining: dict[ReplicaId, float] = {}
@@ -84,7 +84,7 @@
         ]
         kept = {member: self.progress.get(member) for member in others}
         self.progress = {
-            member: progress or Progress(following, now)
+            member: progress or ReplicationProgress(following, now)
             for member, progress in kept.items()
         }
 
@@ -100,7 +100,9 @@
         for progress in self.progress.values():
             progress.confirmed = -math.inf
 
-    def answered(self, sender: ReplicaId, number: int, clock: float) -> Progress | None:
+    def answered(
+        self, sender: ReplicaId, number: int, clock: float
+    ) -> ReplicationProgress | None:
         """Note an answer to a round; None if the sender is no member."""
         progress = self.progress.get(sender)
         if progress is None:
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -5,7 +5,11 @@
 from kumquatmux_agreement.core import ReplicaCore
 from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, ReplicaId
 from kumquatmux_agreement.events import Outcome, Reply, Role
-from kumquatmux_agreement.leadership import LeaderState, PendingRead, Progress
+from kumquatmux_agreement.leadership import (
+    LeaderState,
+    PendingRead,
+    ReplicationProgress,
+)
 from kumquatmux_agreement.membership import (
     ALLOWED_SIZES,
     MembershipView,
@@ -238,16 +242,18 @@
         broadcast(core)
 
 
-def _has_window(core: ReplicaCore, progress: Progress) -> bool:
+def _has_window(core: ReplicaCore, progress: ReplicationProgress) -> bool:
     return progress.next <= progress.match + core.settings.window_entries
 
 
-def _resend(progress: Progress) -> int:
+def _resend(progress: ReplicationProgress) -> int:
     """Return where to go on after a round without an acknowledgement."""
     return progress.match + 1 if progress.match else progress.next
 
 
-def _note_lost_entries(progress: Progress, member: ReplicaId, hint: int) -> None:
+def _note_lost_entries(
+    progress: ReplicationProgress, member: ReplicaId, hint: int
+) -> None:
     """Believe a member that no longer holds what it had acknowledged."""
     if hint <= progress.match:
         log_decision("agreement-entries-lost", member=member, after=hint - 1)
--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -4,12 +4,15 @@
 
 from kumquatmux_agreement.core import ReplicaCore
 from kumquatmux_agreement.entries import ReplicaId
-from kumquatmux_agreement.leadership import LeaderState, Progress
+from kumquatmux_agreement.leadership import LeaderState, ReplicationProgress
 from kumquatmux_agreement.messages import AppendRequest, SnapshotChunk
 
 
 def send_next(
-    core: ReplicaCore, leadership: LeaderState, member: ReplicaId, progress: Progress
+    core: ReplicaCore,
+    leadership: LeaderState,
+    member: ReplicaId,
+    progress: ReplicationProgress,
 ) -> None:
     """Send a member the entries or the part of a snapshot it needs next."""
     if progress.snapshot is not None or progress.next <= core.log.base_index:
@@ -39,7 +42,10 @@
 
 
 def _send_chunk(
-    core: ReplicaCore, leadership: LeaderState, member: ReplicaId, progress: Progress
+    core: ReplicaCore,
+    leadership: LeaderState,
+    member: ReplicaId,
+    progress: ReplicationProgress,
 ) -> None:
     if progress.snapshot is None:
         progress.snapshot = core.log.snapshot
