--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -9,7 +9,7 @@
 from kumquatmux_agreement.log import Log
 from kumquatmux_agreement.settings import ReplicaSettings
 
-ROUNDS_HELD = 64
+MAX_TRACKED_ROUNDS = 64
 """Rounds whose time of sending is remembered."""
 
 
@@ -92,7 +92,7 @@
         """Number the messages sent from now on."""
         self.round += 1
         self.sent_at[self.round] = now
-        self.sent_at.pop(self.round - ROUNDS_HELD, None)
+        self.sent_at.pop(self.round - MAX_TRACKED_ROUNDS, None)
 
     def forget_times(self) -> None:
         """Trust no time of sending from before a jump of the clock."""
