--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -29,7 +29,7 @@
 
     def __init__(self, following: int, heard_at: float) -> None:
         self.match = 0
-        self.next = following
+        self.next_index = following
         self.round = 0
         self.confirmed = -math.inf
         self.heard_at = heard_at
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -119,14 +119,16 @@
     leadership.begin_round(core.now)
     leadership.heartbeat_at = core.clock + core.settings.heartbeat_s
     for member, progress in leadership.progress.items():
-        progress.next = max(progress.match + 1, min(progress.next, _resend(progress)))
+        progress.next_index = max(
+            progress.match + 1, min(progress.next_index, _resend(progress))
+        )
         send_next(core, leadership, member, progress)
 
 
 def send_entries(core: ReplicaCore, leadership: LeaderState) -> None:
     """Send members the entries they lack, as far as the window allows."""
     for member, progress in leadership.progress.items():
-        has_more = progress.next <= core.log.last_index
+        has_more = progress.next_index <= core.log.last_index
         if has_more and progress.snapshot is None and _has_window(core, progress):
             send_next(core, leadership, member, progress)
 
@@ -143,18 +145,18 @@
     if message.is_matched:
         progress.snapshot = None
         progress.match = max(progress.match, message.log_index)
-        progress.next = max(progress.next, progress.match + 1)
+        progress.next_index = max(progress.next_index, progress.match + 1)
         advance_commit(core)
     else:
         hint = min(message.log_index, core.log.last_index + 1)
         if message.round >= progress.round:
             _note_lost_entries(progress, sender, hint)
-        progress.next = max(progress.match + 1, hint)
+        progress.next_index = max(progress.match + 1, hint)
         send_next(core, leadership, sender, progress)
     if core.leadership is not leadership:
         return
     answer_reads(core, leadership)
-    has_more = progress.next <= core.log.last_index
+    has_more = progress.next_index <= core.log.last_index
     if message.is_matched and has_more and _has_window(core, progress):
         send_next(core, leadership, sender, progress)
 
@@ -243,12 +245,12 @@
 
 
 def _has_window(core: ReplicaCore, progress: ReplicationProgress) -> bool:
-    return progress.next <= progress.match + core.settings.window_entries
+    return progress.next_index <= progress.match + core.settings.window_entries
 
 
 def _resend(progress: ReplicationProgress) -> int:
     """Return where to go on after a round without an acknowledgement."""
-    return progress.match + 1 if progress.match else progress.next
+    return progress.match + 1 if progress.match else progress.next_index
 
 
 def _note_lost_entries(
--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -15,17 +15,17 @@
     progress: ReplicationProgress,
 ) -> None:
     """Send a member the entries or the part of a snapshot it needs next."""
-    if progress.snapshot is not None or progress.next <= core.log.base_index:
+    if progress.snapshot is not None or progress.next_index <= core.log.base_index:
         _send_chunk(core, leadership, member, progress)
         return
-    previous = progress.next - 1
+    previous = progress.next_index - 1
     previous_term = core.log.term_at(previous)
     if previous_term is None:
         raise AssertionError(f"entry {previous} is not in the log")
     entries = core.log.batch(
-        progress.next, core.log.last_index, core.settings.batch_bytes
+        progress.next_index, core.log.last_index, core.settings.batch_bytes
     )
-    progress.next += len(entries)
+    progress.next_index += len(entries)
     progress.told_commit = core.commit
     message = AppendRequest(
         core.cluster,
