--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -123,7 +123,7 @@
         span = self.settings.election_timeout_s * self.settings.lease_share
         return _agreed(times, configuration.quorum) + span
 
-    def answered_round(self, configuration: Configuration) -> int:
+    def quorum_round(self, configuration: Configuration) -> int:
         """Return the latest round that a quorum has answered."""
         mine = self.settings.replica
         rounds = [
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -202,7 +202,7 @@
     """Answer the reads whose round a quorum has answered."""
     if not leadership.reads:
         return
-    answered = leadership.answered_round(core.log.configuration)
+    answered = leadership.quorum_round(core.log.configuration)
     waiting = leadership.reads
     leadership.reads = [read for read in waiting if read.round > answered]
     for pending in waiting:
