--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -30,7 +30,7 @@
     def __init__(self, following: int, heard_at: float) -> None:
         self.match = 0
         self.next_index = following
-        self.round = 0
+        self.acknowledged_round = 0
         self.confirmed = -math.inf
         self.heard_at = heard_at
         self.snapshot: Snapshot | None = None
@@ -108,7 +108,7 @@
         if progress is None:
             return None
         progress.heard_at = clock
-        progress.round = max(progress.round, number)
+        progress.acknowledged_round = max(progress.acknowledged_round, number)
         sent = self.sent_at.get(number, -math.inf)
         progress.confirmed = max(progress.confirmed, sent)
         return progress
@@ -127,7 +127,7 @@
         """Return the latest round that a quorum has answered."""
         mine = self.settings.replica
         rounds = [
-            self.round if voter == mine else self.progress[voter].round
+            self.round if voter == mine else self.progress[voter].acknowledged_round
             for voter in configuration.voters
         ]
         return int(_agreed(rounds, configuration.quorum))
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -149,7 +149,7 @@
         advance_commit(core)
     else:
         hint = min(message.log_index, core.log.last_index + 1)
-        if message.round >= progress.round:
+        if message.round >= progress.acknowledged_round:
             _note_lost_entries(progress, sender, hint)
         progress.next_index = max(progress.match + 1, hint)
         send_next(core, leadership, sender, progress)
