--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -28,7 +28,7 @@
     """
 
     def __init__(self, following: int, heard_at: float) -> None:
-        self.match = 0
+        self.match_index = 0
         self.next_index = following
         self.acknowledged_round = 0
         self.confirmed = -math.inf
@@ -136,7 +136,7 @@
         """Return the last entry that a quorum has synced."""
         mine = self.settings.replica
         indexes = [
-            synced if voter == mine else self.progress[voter].match
+            synced if voter == mine else self.progress[voter].match_index
             for voter in configuration.voters
         ]
         return int(_agreed(indexes, configuration.quorum))
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -120,7 +120,7 @@
     leadership.heartbeat_at = core.clock + core.settings.heartbeat_s
     for member, progress in leadership.progress.items():
         progress.next_index = max(
-            progress.match + 1, min(progress.next_index, _resend(progress))
+            progress.match_index + 1, min(progress.next_index, _resend(progress))
         )
         send_next(core, leadership, member, progress)
 
@@ -144,14 +144,14 @@
         return
     if message.is_matched:
         progress.snapshot = None
-        progress.match = max(progress.match, message.log_index)
-        progress.next_index = max(progress.next_index, progress.match + 1)
+        progress.match_index = max(progress.match_index, message.log_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
         advance_commit(core)
     else:
         hint = min(message.log_index, core.log.last_index + 1)
         if message.round >= progress.acknowledged_round:
             _note_lost_entries(progress, sender, hint)
-        progress.next_index = max(progress.match + 1, hint)
+        progress.next_index = max(progress.match_index + 1, hint)
         send_next(core, leadership, sender, progress)
     if core.leadership is not leadership:
         return
@@ -245,18 +245,18 @@
 
 
 def _has_window(core: ReplicaCore, progress: ReplicationProgress) -> bool:
-    return progress.next_index <= progress.match + core.settings.window_entries
+    return progress.next_index <= progress.match_index + core.settings.window_entries
 
 
 def _resend(progress: ReplicationProgress) -> int:
     """Return where to go on after a round without an acknowledgement."""
-    return progress.match + 1 if progress.match else progress.next_index
+    return progress.match_index + 1 if progress.match_index else progress.next_index
 
 
 def _note_lost_entries(
     progress: ReplicationProgress, member: ReplicaId, hint: int
 ) -> None:
     """Believe a member that no longer holds what it had acknowledged."""
-    if hint <= progress.match:
+    if hint <= progress.match_index:
         log_decision("agreement-entries-lost", member=member, after=hint - 1)
-        progress.match = hint - 1
+        progress.match_index = hint - 1
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -93,7 +93,7 @@
         progress = leadership.progress.get(voter)
         if progress is None or voter not in live:
             continue
-        if progress.match >= core.log.last_index:
+        if progress.match_index >= core.log.last_index:
             log_decision("agreement-hand-over", replica=core.me, to=voter)
             core.send(StandNow(core.cluster, core.me, voter, core.term), voter.vm)
             return
