Rename confirmed to acknowledged_sent_at

The attribute is the send time of the acknowledged round.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py confirmed acknowledged_sent_at

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -31,7 +31,7 @@
         self.match_index = 0
         self.next_index = following
         self.acknowledged_round = 0
-        self.confirmed = -math.inf
+        self.acknowledged_sent_at = -math.inf
         self.heard_at = heard_at
         self.snapshot: Snapshot | None = None
         self.received = 0
@@ -98,7 +98,7 @@
         """Trust no time of sending from before a jump of the clock."""
         self.sent_at.clear()
         for progress in self.progress.values():
-            progress.confirmed = -math.inf
+            progress.acknowledged_sent_at = -math.inf
 
     def answered(
         self, sender: ReplicaId, number: int, clock: float
@@ -110,7 +110,7 @@
         progress.heard_at = clock
         progress.acknowledged_round = max(progress.acknowledged_round, number)
         sent = self.sent_at.get(number, -math.inf)
-        progress.confirmed = max(progress.confirmed, sent)
+        progress.acknowledged_sent_at = max(progress.acknowledged_sent_at, sent)
         return progress
 
     def lease_until(self, configuration: Configuration, now: float) -> float:
