--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -32,7 +32,7 @@
         self.next_index = following
         self.acknowledged_round = 0
         self.acknowledged_sent_at = -math.inf
-        self.heard_at = heard_at
+        self.last_contact_at = heard_at
         self.snapshot: Snapshot | None = None
         self.received = 0
         self.told_commit = -1
@@ -107,7 +107,7 @@
         progress = self.progress.get(sender)
         if progress is None:
             return None
-        progress.heard_at = clock
+        progress.last_contact_at = clock
         progress.acknowledged_round = max(progress.acknowledged_round, number)
         sent = self.sent_at.get(number, -math.inf)
         progress.acknowledged_sent_at = max(progress.acknowledged_sent_at, sent)
