--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -27,12 +27,12 @@
         told_commit: Commit index it was last told.
     """
 
-    def __init__(self, following: int, heard_at: float) -> None:
+    def __init__(self, following: int, last_contact_at: float) -> None:
         self.match_index = 0
         self.next_index = following
         self.acknowledged_round = 0
         self.acknowledged_sent_at = -math.inf
-        self.last_contact_at = heard_at
+        self.last_contact_at = last_contact_at
         self.snapshot: Snapshot | None = None
         self.received = 0
         self.told_commit = -1
