Rename following to next_index

The parameter is the index of the next entry to send.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py following next_index

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -27,9 +27,9 @@
         told_commit: Commit index it was last told.
     """
 
-    def __init__(self, following: int, last_contact_at: float) -> None:
+    def __init__(self, next_index: int, last_contact_at: float) -> None:
         self.match_index = 0
-        self.next_index = following
+        self.next_index = next_index
         self.acknowledged_round = 0
         self.acknowledged_sent_at = -math.inf
         self.last_contact_at = last_contact_at
