Rename following to next_index

The parameter is the index of the next entry to send.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py following next_index

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -75,7 +75,7 @@
         self.follow(log.configuration, log.last_index + 1, clock)
         self.begin_round(now)
 
-    def follow(self, configuration: Configuration, following: int, now: float) -> None:
+    def follow(self, configuration: Configuration, next_index: int, now: float) -> None:
         """Keep progress for just the other members of a configuration."""
         others = [
             member
@@ -84,7 +84,7 @@
         ]
         kept = {member: self.progress.get(member) for member in others}
         self.progress = {
-            member: progress or ReplicationProgress(following, now)
+            member: progress or ReplicationProgress(next_index, now)
             for member, progress in kept.items()
         }
 
