Rename received to received_bytes

The attribute is a number of bytes.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py received received_bytes

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -34,7 +34,7 @@
         self.acknowledged_sent_at = -math.inf
         self.last_contact_at = last_contact_at
         self.snapshot: Snapshot | None = None
-        self.received = 0
+        self.received_bytes = 0
         self.told_commit = -1
 
 
--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -49,9 +49,9 @@
 ) -> None:
     if progress.snapshot is None:
         progress.snapshot = core.log.snapshot
-        progress.received = 0
+        progress.received_bytes = 0
     snapshot = progress.snapshot
-    start = progress.received
+    start = progress.received_bytes
     message = SnapshotChunk(
         core.cluster,
         core.me,
