--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -35,7 +35,7 @@
         self.last_contact_at = last_contact_at
         self.snapshot: Snapshot | None = None
         self.received_bytes = 0
-        self.told_commit = -1
+        self.sent_commit_index = -1
 
 
 class PendingRead(NamedTuple):
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -193,7 +193,7 @@
             core.set_role(core.idle_role(), None)
             return
     for member, progress in leadership.progress.items():
-        is_behind = progress.told_commit < core.commit <= progress.match
+        is_behind = progress.sent_commit_index < core.commit <= progress.match
         if is_behind:
             send_next(core, leadership, member, progress)
 
--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -26,7 +26,7 @@
         progress.next_index, core.log.last_index, core.settings.batch_bytes
     )
     progress.next_index += len(entries)
-    progress.told_commit = core.commit
+    progress.sent_commit_index = core.commit
     message = AppendRequest(
         core.cluster,
         core.me,
