--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -262,7 +262,7 @@
             return
         log_decision("agreement-step-down", replica=self.me, reason=reason)
         unknown = Problem("outcome-unknown", f"the leader stepped down: {reason}")
-        for token in leadership.pending.values():
+        for token in leadership.pending_proposals.values():
             self.out.append(Reply(token, Outcome.UNKNOWN, 0, unknown, self.leader))
         refused = Problem("not-leader", f"the leader stepped down: {reason}")
         for read in leadership.reads:
@@ -291,7 +291,7 @@
         if leadership is None:
             return
         for entry in entries:
-            token = leadership.pending.pop(entry.log_index, None)
+            token = leadership.pending_proposals.pop(entry.log_index, None)
             if token is not None:
                 reply = Reply(token, Outcome.COMMITTED, entry.log_index, None, self.me)
                 self.out.append(reply)
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -64,7 +64,7 @@
     ) -> None:
         self.settings = settings
         self.progress: dict[ReplicaId, ReplicationProgress] = {}
-        self.pending: dict[int, str] = {}
+        self.pending_proposals: dict[int, str] = {}
         self.reads: list[PendingRead] = []
         self.joining: dict[ReplicaId, float] = {}
         self.round = 0
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -57,7 +57,7 @@
         core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
         return
     index = append_entry(core, EntryKind.DATA, data=data)
-    leadership.pending[index] = token
+    leadership.pending_proposals[index] = token
     send_entries(core, leadership)
 
 
@@ -93,7 +93,7 @@
         core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
         return
     index = append_entry(core, EntryKind.CONFIGURATION, configuration=wanted)
-    leadership.pending[index] = token
+    leadership.pending_proposals[index] = token
     send_entries(core, leadership)
 
 
@@ -218,7 +218,7 @@
         return Problem("too-few-voters", f"{voters} of {wanted} control VMs vote")
     if len(data) > core.settings.entry_bytes:
         return Problem("entry-too-long", f"an entry of {len(data)} bytes")
-    if len(leadership.pending) >= core.settings.pending_entries:
+    if len(leadership.pending_proposals) >= core.settings.pending_entries:
         return Problem("too-many-pending", "too many entries wait to be committed")
     return None
 
