Rename reads to pending_reads

The attribute holds reads that wait for a quorum.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py reads pending_reads

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -265,7 +265,7 @@
         for token in leadership.pending_proposals.values():
             self.out.append(Reply(token, Outcome.UNKNOWN, 0, unknown, self.leader))
         refused = Problem("not-leader", f"the leader stepped down: {reason}")
-        for read in leadership.reads:
+        for read in leadership.pending_reads:
             self.out.append(Reply(read.token, Outcome.REFUSED, 0, refused))
         self.election_at = self.next_election_at()
 
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -65,7 +65,7 @@
         self.settings = settings
         self.progress: dict[ReplicaId, ReplicationProgress] = {}
         self.pending_proposals: dict[int, str] = {}
-        self.reads: list[PendingRead] = []
+        self.pending_reads: list[PendingRead] = []
         self.joining: dict[ReplicaId, float] = {}
         self.round = 0
         self.sent_at: dict[int, float] = {}
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -70,7 +70,7 @@
     if leadership.lease_until(core.log.configuration, core.now) > core.now:
         core.out.append(Reply(token, Outcome.CURRENT, core.commit, None, core.me))
         return
-    leadership.reads.append(PendingRead(token, leadership.round + 1))
+    leadership.pending_reads.append(PendingRead(token, leadership.round + 1))
     broadcast(core)
     answer_reads(core, leadership)
 
@@ -200,11 +200,11 @@
 
 def answer_reads(core: ReplicaCore, leadership: LeaderState) -> None:
     """Answer the reads whose round a quorum has answered."""
-    if not leadership.reads:
+    if not leadership.pending_reads:
         return
     answered = leadership.quorum_round(core.log.configuration)
-    waiting = leadership.reads
-    leadership.reads = [read for read in waiting if read.round > answered]
+    waiting = leadership.pending_reads
+    leadership.pending_reads = [read for read in waiting if read.round > answered]
     for pending in waiting:
         if pending.round <= answered:
             reply = Reply(pending.token, Outcome.CURRENT, core.commit, None, core.me)
