--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -66,7 +66,7 @@
         self.progress: dict[ReplicaId, ReplicationProgress] = {}
         self.pending_proposals: dict[int, str] = {}
         self.pending_reads: list[PendingRead] = []
-        self.joining: dict[ReplicaId, float] = {}
+        self.join_requests: dict[ReplicaId, float] = {}
         self.round = 0
         self.sent_at: dict[int, float] = {}
         self.heartbeat_at = clock
@@ -164,8 +164,8 @@
     def joining_lately(self, clock: float) -> tuple[ReplicaId, ...]:
         """Return who asked to join lately, by name."""
         limit = clock - 3 * self.settings.join_period_s
-        recent = {who: at for who, at in self.joining.items() if at > limit}
-        self.joining = recent
+        recent = {who: at for who, at in self.join_requests.items() if at > limit}
+        self.join_requests = recent
         members = {*self.progress, self.settings.replica}
         return tuple(sorted(who for who in recent if who not in members))
 
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -234,7 +234,7 @@
         if leadership is None:
             return
         if message.cluster in (self.core.cluster, self.core.settings.cluster):
-            leadership.joining[message.sender] = self.core.clock
+            leadership.join_requests[message.sender] = self.core.clock
         else:
             log_decision(
                 "agreement-other-cluster",
