--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -68,7 +68,7 @@
         self.pending_reads: list[PendingRead] = []
         self.join_requests: dict[ReplicaId, float] = {}
         self.round = 0
-        self.sent_at: dict[int, float] = {}
+        self.round_sent_at: dict[int, float] = {}
         self.heartbeat_at = clock
         self.since = clock
         self.first_index = log.last_index + 1
@@ -91,12 +91,12 @@
     def begin_round(self, now: float) -> None:
         """Number the messages sent from now on."""
         self.round += 1
-        self.sent_at[self.round] = now
-        self.sent_at.pop(self.round - MAX_TRACKED_ROUNDS, None)
+        self.round_sent_at[self.round] = now
+        self.round_sent_at.pop(self.round - MAX_TRACKED_ROUNDS, None)
 
     def forget_times(self) -> None:
         """Trust no time of sending from before a jump of the clock."""
-        self.sent_at.clear()
+        self.round_sent_at.clear()
         for progress in self.progress.values():
             progress.acknowledged_sent_at = -math.inf
 
@@ -109,7 +109,7 @@
             return None
         progress.last_contact_at = clock
         progress.acknowledged_round = max(progress.acknowledged_round, number)
-        sent = self.sent_at.get(number, -math.inf)
+        sent = self.round_sent_at.get(number, -math.inf)
         progress.acknowledged_sent_at = max(progress.acknowledged_sent_at, sent)
         return progress
 
