Rename since to leading_since

The attribute is the time at which the leader was elected.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py since leading_since

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -70,7 +70,7 @@
         self.round = 0
         self.round_sent_at: dict[int, float] = {}
         self.heartbeat_at = clock
-        self.since = clock
+        self.leading_since = clock
         self.first_index = log.last_index + 1
         self.follow(log.configuration, log.last_index + 1, clock)
         self.begin_round(now)
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -100,7 +100,7 @@
 def tick(core: ReplicaCore, leadership: LeaderState) -> None:
     """Step down without a quorum, send heartbeats, move membership on."""
     live = leadership.live(core.clock)
-    has_grace = core.clock - leadership.since < core.settings.election_timeout_s
+    has_grace = core.clock - leadership.leading_since < core.settings.election_timeout_s
     if not has_grace and not has_live_quorum(core.log.configuration, live):
         core.stop_leading("no quorum answers")
         core.set_role(core.idle_role(), None)
