--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -69,7 +69,7 @@
         self.join_requests: dict[ReplicaId, float] = {}
         self.round = 0
         self.round_sent_at: dict[int, float] = {}
-        self.heartbeat_at = clock
+        self.next_heartbeat_at = clock
         self.leading_since = clock
         self.first_index = log.last_index + 1
         self.follow(log.configuration, log.last_index + 1, clock)
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -105,7 +105,7 @@
         core.stop_leading("no quorum answers")
         core.set_role(core.idle_role(), None)
         return
-    if core.clock >= leadership.heartbeat_at:
+    if core.clock >= leadership.next_heartbeat_at:
         broadcast(core)
     if _may_change(core, leadership):
         _move_membership(core, leadership)
@@ -117,7 +117,7 @@
     if leadership is None:
         return
     leadership.begin_round(core.now)
-    leadership.heartbeat_at = core.clock + core.settings.heartbeat_s
+    leadership.next_heartbeat_at = core.clock + core.settings.heartbeat_s
     for member, progress in leadership.progress.items():
         progress.next_index = max(
             progress.match_index + 1, min(progress.next_index, _resend(progress))
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -339,7 +339,7 @@
 def test_reads(name, silence_s, jump_s, outcomes):
     driver = leader()
     driver.give(Tick(), 0.1)
-    driver.replica.core.leadership.heartbeat_at = 0
+    driver.replica.core.leadership.next_heartbeat_at = 0
     driver.give(Tick(), 0.1)
     driver.answer(B)
     driver.tick(silence_s)
