Rename follow to track_members

The method tracks the replication progress of a configuration's members.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py follow track_members

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -242,7 +242,7 @@
         )
         if self.leadership is not None:
             following = self.log.last_index + 1
-            self.leadership.follow(self.log.configuration, following, self.clock)
+            self.leadership.track_members(self.log.configuration, following, self.clock)
         elif self.role not in (Role.CANDIDATE, Role.FAILED):
             self.set_role(self.idle_role(), self.leader)
 
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -72,10 +72,12 @@
         self.next_heartbeat_at = clock
         self.leading_since = clock
         self.first_index = log.last_index + 1
-        self.follow(log.configuration, log.last_index + 1, clock)
+        self.track_members(log.configuration, log.last_index + 1, clock)
         self.begin_round(now)
 
-    def follow(self, configuration: Configuration, next_index: int, now: float) -> None:
+    def track_members(
+        self, configuration: Configuration, next_index: int, now: float
+    ) -> None:
         """Keep progress for just the other members of a configuration."""
         others = [
             member
