Rename forget_times to discard_send_times

The method discards the send times of rounds.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py forget_times discard_send_times

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -170,7 +170,7 @@
         self.clock += min(max(gap, 0.0), self.settings.clock_gap_s)
         has_jumped = not 0.0 <= gap <= self.settings.clock_gap_s
         if has_jumped and self.leadership is not None:
-            self.leadership.forget_times()
+            self.leadership.discard_send_times()
 
     def idle_role(self) -> Role:
         """Return the role it has when it neither leads nor stands."""
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -96,7 +96,7 @@
         self.round_sent_at[self.round] = now
         self.round_sent_at.pop(self.round - MAX_TRACKED_ROUNDS, None)
 
-    def forget_times(self) -> None:
+    def discard_send_times(self) -> None:
         """Trust no time of sending from before a jump of the clock."""
         self.round_sent_at.clear()
         for progress in self.progress.values():
