Rename answered to record_reply

The method records the reply of a member.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py answered record_reply

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -102,7 +102,7 @@
         for progress in self.progress.values():
             progress.acknowledged_sent_at = -math.inf
 
-    def answered(
+    def record_reply(
         self, sender: ReplicaId, number: int, clock: float
     ) -> ReplicationProgress | None:
         """Note an answer to a round; None if the sender is no member."""
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -139,7 +139,7 @@
     if leadership is None or message.term != core.term:
         return
     sender = message.sender
-    progress = leadership.answered(sender, message.round, core.clock)
+    progress = leadership.record_reply(sender, message.round, core.clock)
     if progress is None:
         return
     if message.is_matched:
@@ -166,7 +166,7 @@
     leadership = core.leadership
     if leadership is None or message.term != core.term:
         return
-    progress = leadership.answered(message.sender, message.round, core.clock)
+    progress = leadership.record_reply(message.sender, message.round, core.clock)
     if progress is None or progress.snapshot is None:
         return
     if progress.snapshot.log_index != message.log_index:
