Rename lease_until to lease_expires_at

The method returns the time at which the lease expires.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py lease_until lease_expires_at

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -115,7 +115,7 @@
         progress.acknowledged_sent_at = max(progress.acknowledged_sent_at, sent)
         return progress
 
-    def lease_until(self, configuration: Configuration, now: float) -> float:
+    def lease_expires_at(self, configuration: Configuration, now: float) -> float:
         """Return until when no other leader can exist, by the leader's clock."""
         mine = self.settings.replica
         times = [
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -67,7 +67,7 @@
         problem = Problem("not-ready", "the leader has not committed an entry yet")
         core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
         return
-    if leadership.lease_until(core.log.configuration, core.now) > core.now:
+    if leadership.lease_expires_at(core.log.configuration, core.now) > core.now:
         core.out.append(Reply(token, Outcome.CURRENT, core.commit, None, core.me))
         return
     leadership.pending_reads.append(PendingRead(token, leadership.round + 1))
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -95,7 +95,7 @@
         has_lease = False
         if leadership is not None:
             live = tuple(sorted(leadership.live(core.clock)))
-            has_lease = leadership.lease_until(configuration, core.now) > core.now
+            has_lease = leadership.lease_expires_at(configuration, core.now) > core.now
             others = leadership.progress.values()
             behind = [one for one in others if one.match < core.commit]
             is_whole = is_whole and not behind
