Rename matched to quorum_match_index

The method returns the highest index that a quorum has persisted.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py matched quorum_match_index

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -134,7 +134,7 @@
         ]
         return int(_agreed(rounds, configuration.quorum))
 
-    def matched(self, configuration: Configuration, synced: int) -> int:
+    def quorum_match_index(self, configuration: Configuration, synced: int) -> int:
         """Return the last entry that a quorum has synced."""
         mine = self.settings.replica
         indexes = [
