--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -143,7 +143,7 @@
         ]
         return int(_agreed(indexes, configuration.quorum))
 
-    def live(self, clock: float) -> frozenset[ReplicaId]:
+    def live_members(self, clock: float) -> frozenset[ReplicaId]:
         """Return the members heard within the election timeout, itself included."""
         limit = clock - self.settings.election_timeout_s
         heard = {
@@ -155,7 +155,7 @@
 
     def oldest_sent(self, clock: float) -> int | None:
         """Return the last entry of the oldest snapshot on its way to a live member."""
-        live = self.live(clock)
+        live = self.live_members(clock)
         sent = [
             progress.snapshot.log_index
             for member, progress in self.progress.items()
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -87,7 +87,7 @@
         problem = Problem("membership-size", detail)
     elif not _may_change(core, leadership):
         problem = Problem("membership-busy", "another membership change is under way")
-    elif not has_live_quorum(wanted, leadership.live(core.clock)):
+    elif not has_live_quorum(wanted, leadership.live_members(core.clock)):
         problem = Problem("membership-quorum", "too few of the voters answer")
     if problem is not None:
         core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
@@ -99,7 +99,7 @@
 
 def tick(core: ReplicaCore, leadership: LeaderState) -> None:
     """Step down without a quorum, send heartbeats, move membership on."""
-    live = leadership.live(core.clock)
+    live = leadership.live_members(core.clock)
     has_grace = core.clock - leadership.leading_since < core.settings.election_timeout_s
     if not has_grace and not has_live_quorum(core.log.configuration, live):
         core.stop_leading("no quorum answers")
@@ -235,7 +235,7 @@
         for learner in configuration.learners
         if leadership.progress[learner].match >= core.commit
     )
-    live = leadership.live(core.clock)
+    live = leadership.live_members(core.clock)
     joining = leadership.joining_lately(core.clock)
     view = MembershipView(core.me, joining, live, caught_up)
     following = next_configuration(configuration, view)
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -94,7 +94,7 @@
         live: tuple[ReplicaId, ...] = ()
         has_lease = False
         if leadership is not None:
-            live = tuple(sorted(leadership.live(core.clock)))
+            live = tuple(sorted(leadership.live_members(core.clock)))
             has_lease = leadership.lease_expires_at(configuration, core.now) > core.now
             others = leadership.progress.values()
             behind = [one for one in others if one.match < core.commit]
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -88,7 +88,7 @@
 
 def hand_over(core: ReplicaCore, leadership: LeaderState) -> None:
     """Ask a voter that holds the whole log to lead instead, if there is one."""
-    live = leadership.live(core.clock)
+    live = leadership.live_members(core.clock)
     for voter in core.log.configuration.voters:
         progress = leadership.progress.get(voter)
         if progress is None or voter not in live:
