--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -155,11 +155,11 @@
 
     def oldest_sent(self, clock: float) -> int | None:
         """Return the last entry of the oldest snapshot on its way to a live member."""
-        live = self.live_members(clock)
+        live_members = self.live_members(clock)
         sent = [
             progress.snapshot.log_index
             for member, progress in self.progress.items()
-            if progress.snapshot is not None and member in live
+            if progress.snapshot is not None and member in live_members
         ]
         return min(sent, default=None)
 
