Rename oldest_sent to oldest_sent_snapshot_index

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py oldest_sent oldest_sent_snapshot_index

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -153,7 +153,7 @@
         }
         return frozenset(heard | {self.settings.replica})
 
-    def oldest_sent(self, clock: float) -> int | None:
+    def oldest_sent_snapshot_index(self, clock: float) -> int | None:
         """Return the last entry of the oldest snapshot on its way to a live member."""
         live_members = self.live_members(clock)
         sent = [
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -254,7 +254,11 @@
         """Keep what a member needs next that is still receiving a snapshot."""
         settings = self.core.settings
         leadership = self.core.leadership
-        oldest = leadership.oldest_sent(self.core.clock) if leadership else None
+        oldest = (
+            leadership.oldest_sent_snapshot_index(self.core.clock)
+            if leadership
+            else None
+        )
         if oldest is None:
             return settings.keep_entries
         needed = min(compacted - oldest, KEPT_SNAPSHOTS * settings.snapshot_entries)
