--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -163,7 +163,7 @@
         ]
         return min(sent, default=None)
 
-    def joining_lately(self, clock: float) -> tuple[ReplicaId, ...]:
+    def recent_join_requests(self, clock: float) -> tuple[ReplicaId, ...]:
         """Return who asked to join lately, by name."""
         limit = clock - 3 * self.settings.join_period_s
         recent = {who: at for who, at in self.join_requests.items() if at > limit}
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -236,7 +236,7 @@
         if leadership.progress[learner].match >= core.commit
     )
     live = leadership.live_members(core.clock)
-    joining = leadership.joining_lately(core.clock)
+    joining = leadership.recent_join_requests(core.clock)
     view = MembershipView(core.me, joining, live, caught_up)
     following = next_configuration(configuration, view)
     if following is not None:
