--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -123,7 +123,7 @@
             for voter in configuration.voters
         ]
         span = self.settings.election_timeout_s * self.settings.lease_share
-        return _agreed(times, configuration.quorum) + span
+        return _quorum_value(times, configuration.quorum) + span
 
     def quorum_round(self, configuration: Configuration) -> int:
         """Return the latest round that a quorum has answered."""
@@ -132,7 +132,7 @@
             self.round if voter == mine else self.progress[voter].acknowledged_round
             for voter in configuration.voters
         ]
-        return int(_agreed(rounds, configuration.quorum))
+        return int(_quorum_value(rounds, configuration.quorum))
 
     def quorum_match_index(self, configuration: Configuration, synced: int) -> int:
         """Return the last entry that a quorum has synced."""
@@ -141,7 +141,7 @@
             synced if voter == mine else self.progress[voter].match_index
             for voter in configuration.voters
         ]
-        return int(_agreed(indexes, configuration.quorum))
+        return int(_quorum_value(indexes, configuration.quorum))
 
     def live_members(self, clock: float) -> frozenset[ReplicaId]:
         """Return the members heard within the election timeout, itself included."""
@@ -172,7 +172,7 @@
         return tuple(sorted(who for who in recent if who not in members))
 
 
-def _agreed(values: list[float] | list[int], quorum: int) -> float:
+def _quorum_value(values: list[float] | list[int], quorum: int) -> float:
     """Return the highest value that a quorum has reached."""
     ordered = sorted(values, reverse=True)
     return ordered[quorum - 1] if len(ordered) >= quorum > 0 else 0
