Rename span to lease_duration

The variable is the duration of the lease.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py span lease_duration

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -122,8 +122,8 @@
             now if voter == mine else self.progress[voter].confirmed
             for voter in configuration.voters
         ]
-        span = self.settings.election_timeout_s * self.settings.lease_share
-        return _quorum_value(times, configuration.quorum) + span
+        lease_duration = self.settings.election_timeout_s * self.settings.lease_share
+        return _quorum_value(times, configuration.quorum) + lease_duration
 
     def quorum_round(self, configuration: Configuration) -> int:
         """Return the latest round that a quorum has answered."""
