Rename mine to own_id

The variable is the identifier of this replica.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py mine own_id

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -117,9 +117,9 @@
 
     def lease_expires_at(self, configuration: Configuration, now: float) -> float:
         """Return until when no other leader can exist, by the leader's clock."""
-        mine = self.settings.replica
+        own_id = self.settings.replica
         times = [
-            now if voter == mine else self.progress[voter].confirmed
+            now if voter == own_id else self.progress[voter].confirmed
             for voter in configuration.voters
         ]
         lease_duration = self.settings.election_timeout_s * self.settings.lease_share
