Rename mine to own_id

The variable is the identifier of this replica.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py mine own_id

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -127,9 +127,9 @@
 
     def quorum_round(self, configuration: Configuration) -> int:
         """Return the latest round that a quorum has answered."""
-        mine = self.settings.replica
+        own_id = self.settings.replica
         rounds = [
-            self.round if voter == mine else self.progress[voter].acknowledged_round
+            self.round if voter == own_id else self.progress[voter].acknowledged_round
             for voter in configuration.voters
         ]
         return int(_quorum_value(rounds, configuration.quorum))
