Rename mine to own_id

The variable is the identifier of this replica.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py mine own_id

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -136,9 +136,9 @@
 
     def quorum_match_index(self, configuration: Configuration, synced: int) -> int:
         """Return the last entry that a quorum has synced."""
-        mine = self.settings.replica
+        own_id = self.settings.replica
         indexes = [
-            synced if voter == mine else self.progress[voter].match_index
+            synced if voter == own_id else self.progress[voter].match_index
             for voter in configuration.voters
         ]
         return int(_quorum_value(indexes, configuration.quorum))
