Rename times to acknowledged_times

The variable holds the send times of acknowledged rounds.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py times acknowledged_times

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -118,12 +118,12 @@
     def lease_expires_at(self, configuration: Configuration, now: float) -> float:
         """Return until when no other leader can exist, by the leader's clock."""
         own_id = self.settings.replica
-        times = [
+        acknowledged_times = [
             now if voter == own_id else self.progress[voter].confirmed
             for voter in configuration.voters
         ]
         lease_duration = self.settings.election_timeout_s * self.settings.lease_share
-        return _quorum_value(times, configuration.quorum) + lease_duration
+        return _quorum_value(acknowledged_times, configuration.quorum) + lease_duration
 
     def quorum_round(self, configuration: Configuration) -> int:
         """Return the latest round that a quorum has answered."""
