Rename heard to recent_members

The variable holds members with a recent reply.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py heard recent_members

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -146,12 +146,12 @@
     def live_members(self, clock: float) -> frozenset[ReplicaId]:
         """Return the members heard within the election timeout, itself included."""
         limit = clock - self.settings.election_timeout_s
-        heard = {
+        recent_members = {
             member
             for member, progress in self.progress.items()
             if progress.heard_at > limit
         }
-        return frozenset(heard | {self.settings.replica})
+        return frozenset(recent_members | {self.settings.replica})
 
     def oldest_sent_snapshot_index(self, clock: float) -> int | None:
         """Return the last entry of the oldest snapshot on its way to a live member."""
