Rename limit to contact_cutoff

The variable is the oldest contact time that counts as recent.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py limit contact_cutoff

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -145,11 +145,11 @@
 
     def live_members(self, clock: float) -> frozenset[ReplicaId]:
         """Return the members heard within the election timeout, itself included."""
-        limit = clock - self.settings.election_timeout_s
+        contact_cutoff = clock - self.settings.election_timeout_s
         recent_members = {
             member
             for member, progress in self.progress.items()
-            if progress.heard_at > limit
+            if progress.heard_at > contact_cutoff
         }
         return frozenset(recent_members | {self.settings.replica})
 
