--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -165,8 +165,10 @@
 
     def recent_join_requests(self, clock: float) -> tuple[ReplicaId, ...]:
         """Return who asked to join lately, by name."""
-        limit = clock - 3 * self.settings.join_period_s
-        recent = {who: at for who, at in self.join_requests.items() if at > limit}
+        request_cutoff = clock - 3 * self.settings.join_period_s
+        recent = {
+            who: at for who, at in self.join_requests.items() if at > request_cutoff
+        }
         self.join_requests = recent
         members = {*self.progress, self.settings.replica}
         return tuple(sorted(who for who in recent if who not in members))
