--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -166,12 +166,12 @@
     def recent_join_requests(self, clock: float) -> tuple[ReplicaId, ...]:
         """Return who asked to join lately, by name."""
         request_cutoff = clock - 3 * self.settings.join_period_s
-        recent = {
+        recent_requests = {
             who: at for who, at in self.join_requests.items() if at > request_cutoff
         }
-        self.join_requests = recent
+        self.join_requests = recent_requests
         members = {*self.progress, self.settings.replica}
-        return tuple(sorted(who for who in recent if who not in members))
+        return tuple(sorted(who for who in recent_requests if who not in members))
 
 
 def _quorum_value(values: list[float] | list[int], quorum: int) -> float:
