Rename kept to progress_by_member

The variable maps members to their progress.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py kept progress_by_member

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -84,10 +84,10 @@
             for member in configuration.members
             if member != self.settings.replica
         ]
-        kept = {member: self.progress.get(member) for member in others}
+        progress_by_member = {member: self.progress.get(member) for member in others}
         self.progress = {
             member: progress or ReplicationProgress(next_index, now)
-            for member, progress in kept.items()
+            for member, progress in progress_by_member.items()
         }
 
     def begin_round(self, now: float) -> None:
