--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -79,12 +79,14 @@
         self, configuration: Configuration, next_index: int, now: float
     ) -> None:
         """Keep progress for just the other members of a configuration."""
-        others = [
+        other_members = [
             member
             for member in configuration.members
             if member != self.settings.replica
         ]
-        progress_by_member = {member: self.progress.get(member) for member in others}
+        progress_by_member = {
+            member: self.progress.get(member) for member in other_members
+        }
         self.progress = {
             member: progress or ReplicationProgress(next_index, now)
             for member, progress in progress_by_member.items()
