Rename sent to sent_at

The variable is the send time of the round.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py sent sent_at

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -113,8 +113,8 @@
             return None
         progress.last_contact_at = clock
         progress.acknowledged_round = max(progress.acknowledged_round, number)
-        sent = self.round_sent_at.get(number, -math.inf)
-        progress.acknowledged_sent_at = max(progress.acknowledged_sent_at, sent)
+        sent_at = self.round_sent_at.get(number, -math.inf)
+        progress.acknowledged_sent_at = max(progress.acknowledged_sent_at, sent_at)
         return progress
 
     def lease_expires_at(self, configuration: Configuration, now: float) -> float:
