--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -158,12 +158,12 @@
     def oldest_sent_snapshot_index(self, clock: float) -> int | None:
         """Return the last entry of the oldest snapshot on its way to a live member."""
         live_members = self.live_members(clock)
-        sent = [
+        sent_indexes = [
             progress.snapshot.log_index
             for member, progress in self.progress.items()
             if progress.snapshot is not None and member in live_members
         ]
-        return min(sent, default=None)
+        return min(sent_indexes, default=None)
 
     def recent_join_requests(self, clock: float) -> tuple[ReplicaId, ...]:
         """Return who asked to join lately, by name."""
