--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -105,15 +105,15 @@
             progress.acknowledged_sent_at = -math.inf
 
     def record_reply(
-        self, sender: ReplicaId, number: int, clock: float
+        self, sender: ReplicaId, round_number: int, clock: float
     ) -> ReplicationProgress | None:
         """Note an answer to a round; None if the sender is no member."""
         progress = self.progress.get(sender)
         if progress is None:
             return None
         progress.last_contact_at = clock
-        progress.acknowledged_round = max(progress.acknowledged_round, number)
-        sent_at = self.round_sent_at.get(number, -math.inf)
+        progress.acknowledged_round = max(progress.acknowledged_round, round_number)
+        sent_at = self.round_sent_at.get(round_number, -math.inf)
         progress.acknowledged_sent_at = max(progress.acknowledged_sent_at, sent_at)
         return progress
 
