Rename ordered to descending

The variable holds the values in descending order.

Rename: libs/agreement/src/kumquatmux_agreement/leadership.py ordered descending

--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -178,5 +178,5 @@
 
 def _quorum_value(values: list[float] | list[int], quorum: int) -> float:
     """Return the highest value that a quorum has reached."""
-    ordered = sorted(values, reverse=True)
-    return ordered[quorum - 1] if len(ordered) >= quorum > 0 else 0
+    descending = sorted(values, reverse=True)
+    return descending[quorum - 1] if len(descending) >= quorum > 0 else 0
