--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -60,7 +60,7 @@
     """
 
     def __init__(
-        self, settings: ReplicaSettings, log: Log, clock: float, now: float
+        self, settings: ReplicaSettings, log: Log, steady_now: float, now: float
     ) -> None:
         self.settings = settings
         self.progress: dict[ReplicaId, ReplicationProgress] = {}
@@ -69,10 +69,10 @@
         self.join_requests: dict[ReplicaId, float] = {}
         self.round = 0
         self.round_sent_at: dict[int, float] = {}
-        self.next_heartbeat_at = clock
-        self.leading_since = clock
+        self.next_heartbeat_at = steady_now
+        self.leading_since = steady_now
         self.first_index = log.last_index + 1
-        self.track_members(log.configuration, log.last_index + 1, clock)
+        self.track_members(log.configuration, log.last_index + 1, steady_now)
         self.begin_round(now)
 
     def track_members(
