--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -145,9 +145,9 @@
         ]
         return int(_quorum_value(indexes, configuration.quorum))
 
-    def live_members(self, clock: float) -> frozenset[ReplicaId]:
+    def live_members(self, steady_now: float) -> frozenset[ReplicaId]:
         """Return the members heard within the election timeout, itself included."""
-        contact_cutoff = clock - self.settings.election_timeout_s
+        contact_cutoff = steady_now - self.settings.election_timeout_s
         recent_members = {
             member
             for member, progress in self.progress.items()
