--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -155,9 +155,9 @@
         }
         return frozenset(recent_members | {self.settings.replica})
 
-    def oldest_sent_snapshot_index(self, clock: float) -> int | None:
+    def oldest_sent_snapshot_index(self, steady_now: float) -> int | None:
         """Return the last entry of the oldest snapshot on its way to a live member."""
-        live_members = self.live_members(clock)
+        live_members = self.live_members(steady_now)
         sent_indexes = [
             progress.snapshot.log_index
             for member, progress in self.progress.items()
