--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -165,9 +165,9 @@
         ]
         return min(sent_indexes, default=None)
 
-    def recent_join_requests(self, clock: float) -> tuple[ReplicaId, ...]:
+    def recent_join_requests(self, steady_now: float) -> tuple[ReplicaId, ...]:
         """Return who asked to join lately, by name."""
-        request_cutoff = clock - 3 * self.settings.join_period_s
+        request_cutoff = steady_now - 3 * self.settings.join_period_s
         recent_requests = {
             who: at for who, at in self.join_requests.items() if at > request_cutoff
         }
