Rename stand to start_pre_vote

The function starts a Raft pre-vote.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py stand start_pre_vote

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -126,7 +126,7 @@
         is_due = core.clock >= core.election_at
         is_alone = configuration.voters == (core.me,) and core.election is None
         if core.may_stand and (is_due or is_alone):
-            voting.stand(core)
+            voting.start_pre_vote(core)
         if self._is_forgotten() and core.clock >= core.join_at:
             self._ask_to_join()
 
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -12,7 +12,7 @@
 from kumquatmux_core.decisions import log as log_decision
 
 
-def stand(core: ReplicaCore) -> None:
+def start_pre_vote(core: ReplicaCore) -> None:
     """Ask the voters whether they would vote for this replica."""
     core.plan_elections()
     core.set_role(Role.CANDIDATE, None)
