--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -198,7 +198,7 @@
 
     @_receive.register
     def _(self, message: VoteRequest) -> None:
-        voting.vote_asked(self.core, message)
+        voting.handle_vote_request(self.core, message)
 
     @_receive.register
     def _(self, message: VoteReply) -> None:
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -26,7 +26,7 @@
         core.out.append(request)
 
 
-def vote_asked(core: ReplicaCore, message: VoteRequest) -> None:
+def handle_vote_request(core: ReplicaCore, message: VoteRequest) -> None:
     """Grant a vote or refuse it."""
     if _follows_live_leader(core) and not message.is_handover:
         _answer(core, message, is_granted=False)
