--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -202,7 +202,7 @@
 
     @_receive.register
     def _(self, message: VoteReply) -> None:
-        voting.vote_answered(self.core, message)
+        voting.handle_vote_reply(self.core, message)
 
     @_receive.register
     def _(self, message: AppendRequest) -> None:
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -49,7 +49,7 @@
     _answer(core, message, is_granted=True)
 
 
-def vote_answered(core: ReplicaCore, message: VoteReply) -> None:
+def handle_vote_reply(core: ReplicaCore, message: VoteReply) -> None:
     """Count a vote; lead once a quorum has granted."""
     if not message.is_granted and message.term > core.term:
         core.enter_term(message.term, None)
