--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -164,7 +164,7 @@
         core.synced = pending.last_index
         core.out.extend(pending.then)
         if not core.unsynced:
-            voting.own_vote_synced(core)
+            voting.count_own_vote(core)
         leading.advance_commit(core)
 
     @_on.register
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -69,7 +69,7 @@
         become_leader(core)
 
 
-def own_vote_synced(core: ReplicaCore) -> None:
+def count_own_vote(core: ReplicaCore) -> None:
     """Count the own vote once it is on the disk."""
     election = core.election
     if election is None or election.is_trial or core.me in election.granted:
