--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -226,7 +226,7 @@
 
     @_receive.register
     def _(self, message: StandNow) -> None:
-        voting.stand_now(self.core, message)
+        voting.handle_stand_now(self.core, message)
 
     @_receive.register
     def _(self, message: JoinRequest) -> None:
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -79,7 +79,7 @@
         become_leader(core)
 
 
-def stand_now(core: ReplicaCore, message: StandNow) -> None:
+def handle_stand_now(core: ReplicaCore, message: StandNow) -> None:
     """Stand at once in place of a leader that stops."""
     if message.term == core.term and core.may_stand and core.leadership is None:
         core.set_role(Role.CANDIDATE, None)
