--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -155,7 +155,7 @@
     @_on.register
     def _(self, event: HandOver) -> None:
         if self.core.leadership is not None:
-            voting.hand_over(self.core, self.core.leadership)
+            voting.transfer_leadership(self.core, self.core.leadership)
 
     @_on.register
     def _(self, event: Persisted) -> None:
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -86,7 +86,7 @@
         _stand_in_earnest(core, is_handover=True)
 
 
-def hand_over(core: ReplicaCore, leadership: LeaderState) -> None:
+def transfer_leadership(core: ReplicaCore, leadership: LeaderState) -> None:
     """Ask a voter that holds the whole log to lead instead, if there is one."""
     live = leadership.live_members(core.clock)
     for voter in core.log.configuration.voters:
