Rename _stand_in_earnest to _start_election

The function starts a binding election.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py _stand_in_earnest _start_election

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -20,7 +20,7 @@
     core.election = election
     election.granted.add(core.me)
     if election.is_won(core.log.configuration):
-        _stand_in_earnest(core)
+        _start_election(core)
         return
     for request in _requests(core, election):
         core.out.append(request)
@@ -64,7 +64,7 @@
     if not election.is_won(core.log.configuration):
         return
     if election.is_trial:
-        _stand_in_earnest(core)
+        _start_election(core)
     else:
         become_leader(core)
 
@@ -83,7 +83,7 @@
     """Stand at once in place of a leader that stops."""
     if message.term == core.term and core.may_stand and core.leadership is None:
         core.set_role(Role.CANDIDATE, None)
-        _stand_in_earnest(core, is_handover=True)
+        _start_election(core, is_handover=True)
 
 
 def transfer_leadership(core: ReplicaCore, leadership: LeaderState) -> None:
@@ -99,7 +99,7 @@
             return
 
 
-def _stand_in_earnest(core: ReplicaCore, *, is_handover: bool = False) -> None:
+def _start_election(core: ReplicaCore, *, is_handover: bool = False) -> None:
     term = core.term + 1
     log_decision("agreement-stand", replica=core.me, term=term)
     core.vote = VoteRecord(term, core.me)
