--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -22,7 +22,7 @@
     if election.is_won(core.log.configuration):
         _start_election(core)
         return
-    for request in _requests(core, election):
+    for request in _vote_requests(core, election):
         core.out.append(request)
 
 
@@ -108,10 +108,10 @@
     election = Election(term, is_trial=False)
     core.election = election
     last = next(reversed(core.unsynced.values()))
-    last.then.extend(_requests(core, election, is_handover=is_handover))
+    last.then.extend(_vote_requests(core, election, is_handover=is_handover))
 
 
-def _requests(
+def _vote_requests(
     core: ReplicaCore, election: Election, *, is_handover: bool = False
 ) -> list[Send]:
     voters = [voter for voter in core.log.configuration.voters if voter != core.me]
