Rename _follows_live_leader to _has_live_leader

The function also holds for the leader itself.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py _follows_live_leader _has_live_leader

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -28,7 +28,7 @@
 
 def handle_vote_request(core: ReplicaCore, message: VoteRequest) -> None:
     """Grant a vote or refuse it."""
-    if _follows_live_leader(core) and not message.is_handover:
+    if _has_live_leader(core) and not message.is_handover:
         _answer(core, message, is_granted=False)
         return
     if message.is_trial:
@@ -133,7 +133,7 @@
     ]
 
 
-def _follows_live_leader(core: ReplicaCore) -> bool:
+def _has_live_leader(core: ReplicaCore) -> bool:
     if core.leadership is not None:
         return True
     return core.clock - core.heard_at < core.settings.election_timeout_s
