Rename _goes_first to _wins_pre_vote_tie

The function breaks a tie between two pre-vote candidates.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py _goes_first _wins_pre_vote_tie

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -32,7 +32,7 @@
         _answer(core, message, is_granted=False)
         return
     if message.is_trial:
-        is_free = message.term > core.term and not _goes_first(core, message)
+        is_free = message.term > core.term and not _wins_pre_vote_tie(core, message)
         _answer(core, message, is_granted=is_free and _is_up_to_date(core, message))
         return
     if message.term > core.term:
@@ -139,7 +139,7 @@
     return core.clock - core.heard_at < core.settings.election_timeout_s
 
 
-def _goes_first(core: ReplicaCore, message: VoteRequest) -> bool:
+def _wins_pre_vote_tie(core: ReplicaCore, message: VoteRequest) -> bool:
     """Return whether this replica gathers the same votes and stands before the sender.
 
     Of two candidates with equal logs only one may win its trial, or each would keep
