Rename _is_up_to_date to _is_sender_log_up_to_date

The function compares the sender's log with the own one.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py _is_up_to_date _is_sender_log_up_to_date

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -33,13 +33,17 @@
         return
     if message.is_trial:
         is_free = message.term > core.term and not _wins_pre_vote_tie(core, message)
-        _answer(core, message, is_granted=is_free and _is_up_to_date(core, message))
+        _answer(
+            core,
+            message,
+            is_granted=is_free and _is_sender_log_up_to_date(core, message),
+        )
         return
     if message.term > core.term:
         core.enter_term(message.term, None)
     is_free = core.vote.voted_for in (None, message.sender)
     is_now = message.term == core.term
-    if not (is_now and is_free and _is_up_to_date(core, message)):
+    if not (is_now and is_free and _is_sender_log_up_to_date(core, message)):
         _answer(core, message, is_granted=False)
         return
     if core.vote.voted_for is None:
@@ -152,7 +156,7 @@
     return is_equal and core.me < message.sender
 
 
-def _is_up_to_date(core: ReplicaCore, message: VoteRequest) -> bool:
+def _is_sender_log_up_to_date(core: ReplicaCore, message: VoteRequest) -> bool:
     mine = (core.log.last_term, core.log.last_index)
     return (message.last_term, message.last_index) >= mine
 
