Rename _answer to _send_vote_reply

The function sends a VoteReply.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py _answer _send_vote_reply

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -29,11 +29,11 @@
 def handle_vote_request(core: ReplicaCore, message: VoteRequest) -> None:
     """Grant a vote or refuse it."""
     if _has_live_leader(core) and not message.is_handover:
-        _answer(core, message, is_granted=False)
+        _send_vote_reply(core, message, is_granted=False)
         return
     if message.is_trial:
         is_free = message.term > core.term and not _wins_pre_vote_tie(core, message)
-        _answer(
+        _send_vote_reply(
             core,
             message,
             is_granted=is_free and _is_sender_log_up_to_date(core, message),
@@ -44,13 +44,13 @@
     is_free = core.vote.voted_for in (None, message.sender)
     is_now = message.term == core.term
     if not (is_now and is_free and _is_sender_log_up_to_date(core, message)):
-        _answer(core, message, is_granted=False)
+        _send_vote_reply(core, message, is_granted=False)
         return
     if core.vote.voted_for is None:
         core.vote = VoteRecord(core.term, message.sender)
         core.persist(vote=core.vote)
         core.election_at = core.next_election_at()
-    _answer(core, message, is_granted=True)
+    _send_vote_reply(core, message, is_granted=True)
 
 
 def handle_vote_reply(core: ReplicaCore, message: VoteReply) -> None:
@@ -161,7 +161,9 @@
     return (message.last_term, message.last_index) >= mine
 
 
-def _answer(core: ReplicaCore, message: VoteRequest, *, is_granted: bool) -> None:
+def _send_vote_reply(
+    core: ReplicaCore, message: VoteRequest, *, is_granted: bool
+) -> None:
     reply = VoteReply(
         message.cluster,
         core.me,
