--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -32,18 +32,18 @@
         _send_vote_reply(core, message, is_granted=False)
         return
     if message.is_trial:
-        is_free = message.term > core.term and not _wins_pre_vote_tie(core, message)
+        can_grant = message.term > core.term and not _wins_pre_vote_tie(core, message)
         _send_vote_reply(
             core,
             message,
-            is_granted=is_free and _is_sender_log_up_to_date(core, message),
+            is_granted=can_grant and _is_sender_log_up_to_date(core, message),
         )
         return
     if message.term > core.term:
         core.enter_term(message.term, None)
-    is_free = core.vote.voted_for in (None, message.sender)
+    can_grant = core.vote.voted_for in (None, message.sender)
     is_now = message.term == core.term
-    if not (is_now and is_free and _is_sender_log_up_to_date(core, message)):
+    if not (is_now and can_grant and _is_sender_log_up_to_date(core, message)):
         _send_vote_reply(core, message, is_granted=False)
         return
     if core.vote.voted_for is None:
