Rename is_now to is_current_term

The variable compares the terms.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py is_now is_current_term

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -42,8 +42,8 @@
     if message.term > core.term:
         core.enter_term(message.term, None)
     can_grant = core.vote.voted_for in (None, message.sender)
-    is_now = message.term == core.term
-    if not (is_now and can_grant and _is_sender_log_up_to_date(core, message)):
+    is_current_term = message.term == core.term
+    if not (is_current_term and can_grant and _is_sender_log_up_to_date(core, message)):
         _send_vote_reply(core, message, is_granted=False)
         return
     if core.vote.voted_for is None:
