Rename is_mine to is_same_term

The variable compares the terms.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py is_mine is_same_term

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -59,8 +59,8 @@
         core.enter_term(message.term, None)
         return
     election = core.election
-    is_mine = election is not None and election.term == message.term
-    if election is None or not is_mine or election.is_trial != message.is_trial:
+    is_same_term = election is not None and election.term == message.term
+    if election is None or not is_same_term or election.is_trial != message.is_trial:
         return
     if not message.is_granted:
         return
