Rename mine to own_position

The variable is the position of the end of the own log.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py mine own_position

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -151,8 +151,8 @@
     """
     if core.election is None or not core.election.is_trial:
         return False
-    mine = (core.log.last_term, core.log.last_index)
-    is_equal = (message.last_term, message.last_index) == mine
+    own_position = (core.log.last_term, core.log.last_index)
+    is_equal = (message.last_term, message.last_index) == own_position
     return is_equal and core.me < message.sender
 
 
