Rename mine to own_position

The variable is the position of the end of the own log.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py mine own_position

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -157,8 +157,8 @@
 
 
 def _is_sender_log_up_to_date(core: ReplicaCore, message: VoteRequest) -> bool:
-    mine = (core.log.last_term, core.log.last_index)
-    return (message.last_term, message.last_index) >= mine
+    own_position = (core.log.last_term, core.log.last_index)
+    return (message.last_term, message.last_index) >= own_position
 
 
 def _send_vote_reply(
