--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -152,8 +152,8 @@
     if core.election is None or not core.election.is_trial:
         return False
     own_position = (core.log.last_term, core.log.last_index)
-    is_equal = (message.last_term, message.last_index) == own_position
-    return is_equal and core.me < message.sender
+    is_equal_position = (message.last_term, message.last_index) == own_position
+    return is_equal_position and core.me < message.sender
 
 
 def _is_sender_log_up_to_date(core: ReplicaCore, message: VoteRequest) -> bool:
