Rename live to live_members

The variable holds members.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py live live_members

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -92,10 +92,10 @@
 
 def transfer_leadership(core: ReplicaCore, leadership: LeaderState) -> None:
     """Ask a voter that holds the whole log to lead instead, if there is one."""
-    live = leadership.live_members(core.clock)
+    live_members = leadership.live_members(core.clock)
     for voter in core.log.configuration.voters:
         progress = leadership.progress.get(voter)
-        if progress is None or voter not in live:
+        if progress is None or voter not in live_members:
             continue
         if progress.match_index >= core.log.last_index:
             log_decision("agreement-hand-over", replica=core.me, to=voter)
