--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -111,8 +111,8 @@
     core.election_at = max(core.election_at, core.retry_at)
     election = Election(term, is_trial=False)
     core.election = election
-    last = next(reversed(core.unsynced.values()))
-    last.then.extend(_vote_requests(core, election, is_handover=is_handover))
+    last_persist = next(reversed(core.unsynced.values()))
+    last_persist.then.extend(_vote_requests(core, election, is_handover=is_handover))
 
 
 def _vote_requests(
