--- a/libs/agreement/src/kumquatmux_agreement/election.py
+++ b/libs/agreement/src/kumquatmux_agreement/election.py
@@ -17,9 +17,9 @@
     def __init__(self, term: int, *, is_trial: bool) -> None:
         self.term = term
         self.is_trial = is_trial
-        self.granted: set[ReplicaId] = set()
+        self.granted_by: set[ReplicaId] = set()
 
     def is_won(self, configuration: Configuration) -> bool:
         """Return whether a quorum of voters has granted."""
-        votes = [voter for voter in configuration.voters if voter in self.granted]
+        votes = [voter for voter in configuration.voters if voter in self.granted_by]
         return len(votes) >= configuration.quorum
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -18,7 +18,7 @@
     core.set_role(Role.CANDIDATE, None)
     election = Election(core.term + 1, is_trial=True)
     core.election = election
-    election.granted.add(core.me)
+    election.granted_by.add(core.me)
     if election.is_won(core.log.configuration):
         _start_election(core)
         return
@@ -64,7 +64,7 @@
         return
     if not message.is_granted:
         return
-    election.granted.add(message.sender)
+    election.granted_by.add(message.sender)
     if not election.is_won(core.log.configuration):
         return
     if election.is_trial:
@@ -76,9 +76,9 @@
 def count_own_vote(core: ReplicaCore) -> None:
     """Count the own vote once it is on the disk."""
     election = core.election
-    if election is None or election.is_trial or core.me in election.granted:
+    if election is None or election.is_trial or core.me in election.granted_by:
         return
-    election.granted.add(core.me)
+    election.granted_by.add(core.me)
     if election.is_won(core.log.configuration):
         become_leader(core)
 
