--- a/libs/agreement/src/kumquatmux_agreement/election.py
+++ b/libs/agreement/src/kumquatmux_agreement/election.py
@@ -14,9 +14,9 @@
         granted: Who granted a vote.
     """
 
-    def __init__(self, term: int, *, is_trial: bool) -> None:
+    def __init__(self, term: int, *, is_pre_vote: bool) -> None:
         self.term = term
-        self.is_trial = is_trial
+        self.is_trial = is_pre_vote
         self.granted_by: set[ReplicaId] = set()
 
     def is_won(self, configuration: Configuration) -> bool:
