Rename is_trial to is_pre_vote

Raft calls the trial vote a pre-vote.

Rename: libs/agreement/src/kumquatmux_agreement/election.py is_trial is_pre_vote

--- a/libs/agreement/src/kumquatmux_agreement/election.py
+++ b/libs/agreement/src/kumquatmux_agreement/election.py
@@ -16,7 +16,7 @@
 
     def __init__(self, term: int, *, is_pre_vote: bool) -> None:
         self.term = term
-        self.is_trial = is_pre_vote
+        self.is_pre_vote = is_pre_vote
         self.granted_by: set[ReplicaId] = set()
 
     def is_won(self, configuration: Configuration) -> bool:
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -60,14 +60,14 @@
         return
     election = core.election
     is_same_term = election is not None and election.term == message.term
-    if election is None or not is_same_term or election.is_trial != message.is_trial:
+    if election is None or not is_same_term or election.is_pre_vote != message.is_trial:
         return
     if not message.is_granted:
         return
     election.granted_by.add(message.sender)
     if not election.is_won(core.log.configuration):
         return
-    if election.is_trial:
+    if election.is_pre_vote:
         _start_election(core)
     else:
         become_leader(core)
@@ -76,7 +76,7 @@
 def count_own_vote(core: ReplicaCore) -> None:
     """Count the own vote once it is on the disk."""
     election = core.election
-    if election is None or election.is_trial or core.me in election.granted_by:
+    if election is None or election.is_pre_vote or core.me in election.granted_by:
         return
     election.granted_by.add(core.me)
     if election.is_won(core.log.configuration):
@@ -129,7 +129,7 @@
                 election.term,
                 core.log.last_index,
                 core.log.last_term,
-                election.is_trial,
+                election.is_pre_vote,
                 is_handover,
             ),
         )
@@ -149,7 +149,7 @@
     Of two candidates with equal logs only one may win its trial, or each would keep
     its own vote in earnest and both would wait for another term.
     """
-    if core.election is None or not core.election.is_trial:
+    if core.election is None or not core.election.is_pre_vote:
         return False
     own_position = (core.log.last_term, core.log.last_index)
     is_equal_position = (message.last_term, message.last_index) == own_position
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -267,7 +267,7 @@
     candidate.tick(4.5)
     again = ReplicaId("b", "2")
     candidate.give(Received(VoteReply("lab", again, A, 2, True, True)))
-    assert candidate.replica.core.election.is_trial
+    assert candidate.replica.core.election.is_pre_vote
 
 
 def test_a_commit_needs_a_majority_that_has_synced():
