--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -28,7 +28,7 @@
     term: int
     last_index: int
     last_term: int
-    is_trial: bool
+    is_pre_vote: bool
     is_handover: bool = False
 
 
@@ -48,7 +48,7 @@
     sender: ReplicaId
     to: ReplicaId
     term: int
-    is_trial: bool
+    is_pre_vote: bool
     is_granted: bool
 
 
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -31,7 +31,7 @@
     if _has_live_leader(core) and not message.is_handover:
         _send_vote_reply(core, message, is_granted=False)
         return
-    if message.is_trial:
+    if message.is_pre_vote:
         can_grant = message.term > core.term and not _wins_pre_vote_tie(core, message)
         _send_vote_reply(
             core,
@@ -60,7 +60,11 @@
         return
     election = core.election
     is_same_term = election is not None and election.term == message.term
-    if election is None or not is_same_term or election.is_pre_vote != message.is_trial:
+    if (
+        election is None
+        or not is_same_term
+        or election.is_pre_vote != message.is_pre_vote
+    ):
         return
     if not message.is_granted:
         return
@@ -169,7 +173,7 @@
         core.me,
         message.sender,
         message.term if is_granted else core.term,
-        message.is_trial,
+        message.is_pre_vote,
         is_granted,
     )
     core.send_after_sync(reply, message.sender.vm)
