--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -29,7 +29,7 @@
     last_index: int
     last_term: int
     is_pre_vote: bool
-    is_handover: bool = False
+    is_leadership_transfer: bool = False
 
 
 class VoteReply(NamedTuple):
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -28,7 +28,7 @@
 
 def handle_vote_request(core: ReplicaCore, message: VoteRequest) -> None:
     """Grant a vote or refuse it."""
-    if _has_live_leader(core) and not message.is_handover:
+    if _has_live_leader(core) and not message.is_leadership_transfer:
         _send_vote_reply(core, message, is_granted=False)
         return
     if message.is_pre_vote:
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -551,7 +551,7 @@
     driver.sync()
     requests = driver.sent(VoteRequest)
     assert {one.term for one in requests} == {3}
-    assert all(one.is_handover and not one.is_pre_vote for one in requests)
+    assert all(one.is_leadership_transfer and not one.is_pre_vote for one in requests)
 
 
 def test_an_old_request_to_stand_is_ignored():
