--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -91,7 +91,7 @@
     """Stand at once in place of a leader that stops."""
     if message.term == core.term and core.may_stand and core.leadership is None:
         core.set_role(Role.CANDIDATE, None)
-        _start_election(core, is_handover=True)
+        _start_election(core, is_leadership_transfer=True)
 
 
 def transfer_leadership(core: ReplicaCore, leadership: LeaderState) -> None:
@@ -107,7 +107,7 @@
             return
 
 
-def _start_election(core: ReplicaCore, *, is_handover: bool = False) -> None:
+def _start_election(core: ReplicaCore, *, is_leadership_transfer: bool = False) -> None:
     term = core.term + 1
     log_decision("agreement-stand", replica=core.me, term=term)
     core.vote = VoteRecord(term, core.me)
@@ -116,7 +116,9 @@
     election = Election(term, is_trial=False)
     core.election = election
     last_persist = next(reversed(core.unsynced.values()))
-    last_persist.then.extend(_vote_requests(core, election, is_handover=is_handover))
+    last_persist.then.extend(
+        _vote_requests(core, election, is_handover=is_leadership_transfer)
+    )
 
 
 def _vote_requests(
