Rename is_handover to is_leadership_transfer

Raft calls the handover leadership transfer.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py is_handover is_leadership_transfer

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -117,12 +117,12 @@
     core.election = election
     last_persist = next(reversed(core.unsynced.values()))
     last_persist.then.extend(
-        _vote_requests(core, election, is_handover=is_leadership_transfer)
+        _vote_requests(core, election, is_leadership_transfer=is_leadership_transfer)
     )
 
 
 def _vote_requests(
-    core: ReplicaCore, election: Election, *, is_handover: bool = False
+    core: ReplicaCore, election: Election, *, is_leadership_transfer: bool = False
 ) -> list[Send]:
     voters = [voter for voter in core.log.configuration.voters if voter != core.me]
     return [
@@ -136,7 +136,7 @@
                 core.log.last_index,
                 core.log.last_term,
                 election.is_pre_vote,
-                is_handover,
+                is_leadership_transfer,
             ),
         )
         for voter in voters
