Rename commit to commit_index

The field is a log index.

Rename: libs/agreement/src/kumquatmux_agreement/messages.py commit commit_index

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -31,7 +31,7 @@
     unknown = core.log.unknown_part(message.entries)
     if unknown:
         core.append(unknown)
-    core.commit_up_to(min(message.commit, last_carried))
+    core.commit_up_to(min(message.commit_index, last_carried))
     _answer(core, message, is_matched=True, index=last_carried)
 
 
--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -74,7 +74,7 @@
     previous_index: int
     previous_term: int
     entries: tuple[Entry, ...]
-    commit: int
+    commit_index: int
     round: int
 
 
