Rename index_term to log_term

The field is the term of the entry at log_index.

Rename: libs/agreement/src/kumquatmux_agreement/messages.py index_term log_term

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -55,7 +55,7 @@
         return
     snapshot = Snapshot(
         message.log_index,
-        message.index_term,
+        message.log_term,
         message.configuration,
         bytes(incoming.data),
     )
--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -123,7 +123,7 @@
     to: ReplicaId
     term: int
     log_index: int
-    index_term: int
+    log_term: int
     configuration: Configuration
     offset: int
     total: int
