--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -50,7 +50,7 @@
         core.incoming = incoming
     if message.offset == len(incoming.data):
         incoming.data += message.data
-    if len(incoming.data) < message.total:
+    if len(incoming.data) < message.total_bytes:
         _answer_chunk(core, message, len(incoming.data))
         return
     snapshot = Snapshot(
--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -126,7 +126,7 @@
     log_term: int
     configuration: Configuration
     offset: int
-    total: int
+    total_bytes: int
     data: bytes
     round: int
 
