Rename received to received_bytes

The field is a number of bytes.

Rename: libs/agreement/src/kumquatmux_agreement/messages.py received received_bytes

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -171,8 +171,8 @@
         return
     if progress.snapshot.log_index != message.log_index:
         return
-    has_moved = message.received != progress.received_bytes
-    progress.received_bytes = message.received
+    has_moved = message.received_bytes != progress.received_bytes
+    progress.received_bytes = message.received_bytes
     answer_reads(core, leadership)
     if has_moved:
         send_next(core, leadership, message.sender, progress)
--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -149,7 +149,7 @@
     to: ReplicaId
     term: int
     log_index: int
-    received: int
+    received_bytes: int
     round: int
 
 
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -453,7 +453,7 @@
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE, offset, 6, data, 1)
         follower.give(Received(chunk))
     follower.sync()
-    assert [one.received for one in follower.sent(SnapshotReply)] == [2, 2, 2, 4]
+    assert [one.received_bytes for one in follower.sent(SnapshotReply)] == [2, 2, 2, 4]
     assert follower.sent(AppendReply)[-1].log_index == 9
     assert follower.replica.core.log.snapshot.data == b"abcdef"
 
