Rename between to entries_between

The method returns entries.

Rename: libs/agreement/src/kumquatmux_agreement/log.py between entries_between

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -273,7 +273,7 @@
         """Take entries as committed, have them applied and answer for them."""
         if index <= self.commit:
             return
-        entries = self.log.between(self.commit + 1, index)
+        entries = self.log.entries_between(self.commit + 1, index)
         self.commit = index
         data = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
         if data:
--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -62,7 +62,7 @@
             return self.entries[index - self.base_index - 1].term
         return None
 
-    def between(self, first: int, last: int) -> tuple[Entry, ...]:
+    def entries_between(self, first: int, last: int) -> tuple[Entry, ...]:
         """Return the entries from first to last, both included."""
         start = first - self.base_index - 1
         return tuple(self.entries[start : last - self.base_index])
@@ -71,7 +71,7 @@
         """Return entries from first on, at least one, up to a size in bytes."""
         chosen: list[Entry] = []
         taken = 0
-        for entry in self.between(first, last):
+        for entry in self.entries_between(first, last):
             if chosen and taken + len(entry.data) > size_bytes:
                 break
             chosen.append(entry)
