Rename unknown_part to missing_suffix

The method returns the entries that the log lacks.

Rename: libs/agreement/src/kumquatmux_agreement/log.py unknown_part missing_suffix

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -28,7 +28,7 @@
         hint = core.log.conflict_hint(previous)
         _answer(core, message, is_matched=False, index=hint)
         return
-    unknown = core.log.unknown_part(message.entries)
+    unknown = core.log.missing_suffix(message.entries)
     if unknown:
         core.append(unknown)
     core.commit_up_to(min(message.commit_index, last_carried))
--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -78,7 +78,7 @@
             taken += len(entry.data)
         return tuple(chosen)
 
-    def unknown_part(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
+    def missing_suffix(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
         """Return the entries from the first that the log does not hold."""
         for place, entry in enumerate(entries):
             if entry.log_index <= self.base_index:
--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -43,9 +43,9 @@
 
 def test_only_the_unknown_part_is_taken():
     held = log(1, 1, 2)
-    assert held.unknown_part((entry(2, 1), entry(3, 2))) == ()
-    assert held.unknown_part((entry(3, 2), entry(4, 2))) == (entry(4, 2),)
-    assert held.unknown_part((entry(2, 3), entry(3, 3))) == (entry(2, 3), entry(3, 3))
+    assert held.missing_suffix((entry(2, 1), entry(3, 2))) == ()
+    assert held.missing_suffix((entry(3, 2), entry(4, 2))) == (entry(4, 2),)
+    assert held.missing_suffix((entry(2, 3), entry(3, 3))) == (entry(2, 3), entry(3, 3))
 
 
 def test_a_batch_has_at_least_one_entry():
