Rename _drop_from to _truncate_from

The method truncates the log.

Rename: libs/agreement/src/kumquatmux_agreement/log.py _drop_from _truncate_from

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -91,7 +91,7 @@
         """Append entries; what they overlap with is dropped first."""
         if not entries:
             return
-        self._drop_from(entries[0].log_index)
+        self._truncate_from(entries[0].log_index)
         if entries[0].log_index != self.last_index + 1:
             raise AssertionError(f"gap in the log before entry {entries[0].log_index}")
         self.entries.extend(entries)
@@ -122,7 +122,7 @@
             index -= 1
         return max(index, self.base_index + 1)
 
-    def _drop_from(self, index: int) -> None:
+    def _truncate_from(self, index: int) -> None:
         if index > self.last_index:
             return
         if index <= self.snapshot.log_index:
