Rename keep to keep_entries

The parameter is a number of entries.

Rename: libs/agreement/src/kumquatmux_agreement/log.py keep keep_entries

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -99,10 +99,10 @@
             if entry.kind == EntryKind.CONFIGURATION and entry.configuration:
                 self.configurations.append((entry.log_index, entry.configuration))
 
-    def compact(self, snapshot: Snapshot, keep: int) -> None:
+    def compact(self, snapshot: Snapshot, keep_entries: int) -> None:
         """Take a newer snapshot and hold only some entries up to it."""
         self.snapshot = snapshot
-        base = max(self.base_index, snapshot.log_index - keep)
+        base = max(self.base_index, snapshot.log_index - keep_entries)
         term = self.term_at(base)
         if term is None:
             raise AssertionError(f"snapshot {snapshot.log_index} beyond the log")
