Rename size_bytes to max_bytes

The parameter is a limit.

Rename: libs/agreement/src/kumquatmux_agreement/log.py size_bytes max_bytes

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -67,12 +67,12 @@
         start = first - self.base_index - 1
         return tuple(self.entries[start : last - self.base_index])
 
-    def batch(self, first: int, last: int, size_bytes: int) -> tuple[Entry, ...]:
+    def batch(self, first: int, last: int, max_bytes: int) -> tuple[Entry, ...]:
         """Return entries from first on, at least one, up to a size in bytes."""
         chosen: list[Entry] = []
         taken = 0
         for entry in self.entries_between(first, last):
-            if chosen and taken + len(entry.data) > size_bytes:
+            if chosen and taken + len(entry.data) > max_bytes:
                 break
             chosen.append(entry)
             taken += len(entry.data)
