Rename chosen to batch

The variable holds the entries of the batch.

Rename: libs/agreement/src/kumquatmux_agreement/log.py chosen batch

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -69,14 +69,14 @@
 
     def batch(self, first: int, last: int, max_bytes: int) -> tuple[Entry, ...]:
         """Return entries from first on, at least one, up to a size in bytes."""
-        chosen: list[Entry] = []
+        batch: list[Entry] = []
         taken = 0
         for entry in self.entries_between(first, last):
-            if chosen and taken + len(entry.data) > max_bytes:
+            if batch and taken + len(entry.data) > max_bytes:
                 break
-            chosen.append(entry)
+            batch.append(entry)
             taken += len(entry.data)
-        return tuple(chosen)
+        return tuple(batch)
 
     def missing_suffix(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
         """Return the entries from the first that the log does not hold."""
