Rename taken to batch_bytes

The variable is the size of the batch.

Rename: libs/agreement/src/kumquatmux_agreement/log.py taken batch_bytes

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -70,12 +70,12 @@
     def batch(self, first: int, last: int, max_bytes: int) -> tuple[Entry, ...]:
         """Return entries from first on, at least one, up to a size in bytes."""
         batch: list[Entry] = []
-        taken = 0
+        batch_bytes = 0
         for entry in self.entries_between(first, last):
-            if batch and taken + len(entry.data) > max_bytes:
+            if batch and batch_bytes + len(entry.data) > max_bytes:
                 break
             batch.append(entry)
-            taken += len(entry.data)
+            batch_bytes += len(entry.data)
         return tuple(batch)
 
     def missing_suffix(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
