Rename held to configurations

The variable holds configurations.

Rename: libs/agreement/src/kumquatmux_agreement/log.py held configurations

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -51,8 +51,8 @@
 
     def configuration_at(self, index: int) -> Configuration:
         """Return the configuration in force after an entry."""
-        held = [known for at, known in self.configurations if at <= index]
-        return held[-1]
+        configurations = [known for at, known in self.configurations if at <= index]
+        return configurations[-1]
 
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry, None if it is not held."""
