Rename known to configuration

The variable is a configuration.

Rename: libs/agreement/src/kumquatmux_agreement/log.py known configuration

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -51,7 +51,9 @@
 
     def configuration_at(self, index: int) -> Configuration:
         """Return the configuration in force after an entry."""
-        configurations = [known for at, known in self.configurations if at <= index]
+        configurations = [
+            configuration for at, configuration in self.configurations if at <= index
+        ]
         return configurations[-1]
 
     def term_at(self, index: int) -> int | None:
