--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -82,11 +82,11 @@
 
     def missing_suffix(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
         """Return the entries from the first that the log does not hold."""
-        for place, entry in enumerate(entries):
+        for position, entry in enumerate(entries):
             if entry.log_index <= self.base_index:
                 continue
             if self.term_at(entry.log_index) != entry.term:
-                return entries[place:]
+                return entries[position:]
         return ()
 
     def append(self, entries: tuple[Entry, ...]) -> None:
