Rename later to later_configurations

The variable holds configurations.

Rename: libs/agreement/src/kumquatmux_agreement/log.py later later_configurations

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -110,8 +110,8 @@
             raise AssertionError(f"snapshot {snapshot.log_index} beyond the log")
         configuration = self.configuration_at(base)
         self.entries = self.entries[base - self.base_index :]
-        later = [pair for pair in self.configurations if pair[0] > base]
-        self.configurations = [(base, configuration), *later]
+        later_configurations = [pair for pair in self.configurations if pair[0] > base]
+        self.configurations = [(base, configuration), *later_configurations]
         self.base_index = base
         self.base_term = term
 
