Rename kept to kept_configurations

The variable holds configurations.

Rename: libs/agreement/src/kumquatmux_agreement/log.py kept kept_configurations

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -130,5 +130,5 @@
         if index <= self.snapshot.log_index:
             raise AssertionError(f"entry {index} of the snapshot would be dropped")
         del self.entries[index - self.base_index - 1 :]
-        kept = [pair for pair in self.configurations if pair[0] < index]
-        self.configurations = kept
+        kept_configurations = [pair for pair in self.configurations if pair[0] < index]
+        self.configurations = kept_configurations
