--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -104,15 +104,17 @@
     def compact(self, snapshot: Snapshot, keep_entries: int) -> None:
         """Take a newer snapshot and hold only some entries up to it."""
         self.snapshot = snapshot
-        base = max(self.base_index, snapshot.log_index - keep_entries)
-        term = self.term_at(base)
+        base_index = max(self.base_index, snapshot.log_index - keep_entries)
+        term = self.term_at(base_index)
         if term is None:
             raise AssertionError(f"snapshot {snapshot.log_index} beyond the log")
-        configuration = self.configuration_at(base)
-        self.entries = self.entries[base - self.base_index :]
-        later_configurations = [pair for pair in self.configurations if pair[0] > base]
-        self.configurations = [(base, configuration), *later_configurations]
-        self.base_index = base
+        configuration = self.configuration_at(base_index)
+        self.entries = self.entries[base_index - self.base_index :]
+        later_configurations = [
+            pair for pair in self.configurations if pair[0] > base_index
+        ]
+        self.configurations = [(base_index, configuration), *later_configurations]
+        self.base_index = base_index
         self.base_term = term
 
     def conflict_hint(self, index: int) -> int:
