Rename term to base_term

The variable is the term of the base entry.

Rename: libs/agreement/src/kumquatmux_agreement/log.py term base_term

--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -105,8 +105,8 @@
         """Take a newer snapshot and hold only some entries up to it."""
         self.snapshot = snapshot
         base_index = max(self.base_index, snapshot.log_index - keep_entries)
-        term = self.term_at(base_index)
-        if term is None:
+        base_term = self.term_at(base_index)
+        if base_term is None:
             raise AssertionError(f"snapshot {snapshot.log_index} beyond the log")
         configuration = self.configuration_at(base_index)
         self.entries = self.entries[base_index - self.base_index :]
@@ -115,7 +115,7 @@
         ]
         self.configurations = [(base_index, configuration), *later_configurations]
         self.base_index = base_index
-        self.base_term = term
+        self.base_term = base_term
 
     def conflict_hint(self, index: int) -> int:
         """Return where a leader should try again after a mismatch at an entry."""
