--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -112,7 +112,7 @@
         self.snapshot_asked = restored.snapshot.log_index
         self.persist_number = 0
         self.unsynced: dict[int, PendingPersist] = {}
-        self.out: list[Action] = []
+        self.actions: list[Action] = []
         self.role = self.idle_role()
 
     @property
@@ -190,11 +190,11 @@
         log_decision(
             "agreement-role", replica=self.me, role=role, term=self.term, leader=leader
         )
-        self.out.append(RoleChanged(role, self.term, leader))
+        self.actions.append(RoleChanged(role, self.term, leader))
 
     def send(self, message: Message, to: VmId) -> None:
         """Send a message at once."""
-        self.out.append(Send(to, message))
+        self.actions.append(Send(to, message))
 
     def send_after_sync(self, message: Message, to: VmId) -> None:
         """Send a message once all that was asked for is synced."""
@@ -216,7 +216,7 @@
         self.persist_number += 1
         number = self.persist_number
         self.unsynced[number] = PendingPersist(self.log.last_index)
-        self.out.append(Persist(number, vote, entries, snapshot, keep_entries))
+        self.actions.append(Persist(number, vote, entries, snapshot, keep_entries))
 
     def append(self, entries: tuple[Entry, ...]) -> None:
         """Append entries to the log and ask for them to be synced."""
@@ -263,10 +263,10 @@
         log_decision("agreement-step-down", replica=self.me, reason=reason)
         unknown = Problem("outcome-unknown", f"the leader stepped down: {reason}")
         for token in leadership.pending_proposals.values():
-            self.out.append(Reply(token, Outcome.UNKNOWN, 0, unknown, self.leader))
+            self.actions.append(Reply(token, Outcome.UNKNOWN, 0, unknown, self.leader))
         refused = Problem("not-leader", f"the leader stepped down: {reason}")
         for read in leadership.pending_reads:
-            self.out.append(Reply(read.token, Outcome.REFUSED, 0, refused))
+            self.actions.append(Reply(read.token, Outcome.REFUSED, 0, refused))
         self.election_at = self.next_election_at()
 
     def commit_up_to(self, index: int) -> None:
@@ -277,13 +277,13 @@
         self.commit = index
         data = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
         if data:
-            self.out.append(Apply(data))
+            self.actions.append(Apply(data))
         if self.leadership is not None:
             self.answer_committed(entries)
         due = self.snapshot_asked + self.settings.snapshot_entries
         if index >= due:
             self.snapshot_asked = index
-            self.out.append(TakeSnapshot(index))
+            self.actions.append(TakeSnapshot(index))
 
     def answer_committed(self, entries: tuple[Entry, ...]) -> None:
         """Answer the proposals that these entries carry out."""
@@ -294,7 +294,7 @@
             token = leadership.pending_proposals.pop(entry.log_index, None)
             if token is not None:
                 reply = Reply(token, Outcome.COMMITTED, entry.log_index, None, self.me)
-                self.out.append(reply)
+                self.actions.append(reply)
 
     def fail(self, problem: Problem) -> None:
         """Take no further part: what is on the disk is no longer known."""
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -76,7 +76,7 @@
     core.commit = snapshot.log_index
     core.snapshot_asked = snapshot.log_index
     core.persist(snapshot=snapshot, keep_entries=is_held)
-    core.out.append(InstallSnapshot(snapshot))
+    core.actions.append(InstallSnapshot(snapshot))
     core.configuration_changed()
 
 
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -54,7 +54,7 @@
     """Put bytes into the log, or refuse before they enter it."""
     problem = _refusal(core, leadership, data)
     if problem is not None:
-        core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
         return
     index = append_entry(core, EntryKind.DATA, data=data)
     leadership.pending_proposals[index] = token
@@ -65,10 +65,10 @@
     """Answer a read at once under the lease, else after a round."""
     if core.commit < leadership.first_index:
         problem = Problem("not-ready", "the leader has not committed an entry yet")
-        core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
         return
     if leadership.lease_expires_at(core.log.configuration, core.now) > core.now:
-        core.out.append(Reply(token, Outcome.CURRENT, core.commit, None, core.me))
+        core.actions.append(Reply(token, Outcome.CURRENT, core.commit, None, core.me))
         return
     leadership.pending_reads.append(PendingRead(token, leadership.round + 1))
     broadcast(core)
@@ -90,7 +90,7 @@
     elif not has_live_quorum(wanted, leadership.live_members(core.clock)):
         problem = Problem("membership-quorum", "too few of the voters answer")
     if problem is not None:
-        core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
         return
     index = append_entry(core, EntryKind.CONFIGURATION, configuration=wanted)
     leadership.pending_proposals[index] = token
@@ -208,7 +208,7 @@
     for pending in waiting:
         if pending.round <= answered:
             reply = Reply(pending.token, Outcome.CURRENT, core.commit, None, core.me)
-            core.out.append(reply)
+            core.actions.append(reply)
 
 
 def _refusal(core: ReplicaCore, leadership: LeaderState, data: bytes) -> Problem | None:
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -79,8 +79,8 @@
             self._refuse(event, "replica-failed", str(self.core.failure))
         else:
             self._on(event)
-        actions = self.core.out
-        self.core.out = []
+        actions = self.core.actions
+        self.core.actions = []
         return actions
 
     def status(self) -> ReplicaStatus:
@@ -162,7 +162,7 @@
         core = self.core
         pending = core.unsynced.pop(event.number)
         core.synced = pending.last_index
-        core.out.extend(pending.then)
+        core.actions.extend(pending.then)
         if not core.unsynced:
             voting.count_own_vote(core)
         leading.advance_commit(core)
@@ -285,4 +285,4 @@
             problem = Problem(code, detail)
             leader = self.core.leader
             reply = Reply(event.token, Outcome.REFUSED, 0, problem, leader)
-            self.core.out.append(reply)
+            self.core.actions.append(reply)
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -23,7 +23,7 @@
         _start_election(core)
         return
     for request in _vote_requests(core, election):
-        core.out.append(request)
+        core.actions.append(request)
 
 
 def handle_vote_request(core: ReplicaCore, message: VoteRequest) -> None:
