--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -91,7 +91,7 @@
     ) -> None:
         self.settings = settings
         self.random = random
-        self.vote = restored.vote
+        self.vote_record = restored.vote
         self.log = Log(restored.snapshot, restored.entries)
         self.synced = self.log.last_index
         self.commit = restored.snapshot.log_index
@@ -123,7 +123,7 @@
     @property
     def term(self) -> int:
         """The term it is in."""
-        return self.vote.term
+        return self.vote_record.term
 
     @property
     def cluster(self) -> str:
@@ -248,8 +248,8 @@
 
     def enter_term(self, term: int, leader: ReplicaId | None) -> None:
         """Move to a later term as a follower."""
-        self.vote = VoteRecord(term)
-        self.persist(vote=self.vote)
+        self.vote_record = VoteRecord(term)
+        self.persist(vote=self.vote_record)
         self.stop_leading("a later term began")
         self.set_role(self.idle_role(), leader)
 
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -41,14 +41,14 @@
         return
     if message.term > core.term:
         core.enter_term(message.term, None)
-    can_grant = core.vote.voted_for in (None, message.sender)
+    can_grant = core.vote_record.voted_for in (None, message.sender)
     is_current_term = message.term == core.term
     if not (is_current_term and can_grant and _is_sender_log_up_to_date(core, message)):
         _send_vote_reply(core, message, is_granted=False)
         return
-    if core.vote.voted_for is None:
-        core.vote = VoteRecord(core.term, message.sender)
-        core.persist(vote=core.vote)
+    if core.vote_record.voted_for is None:
+        core.vote_record = VoteRecord(core.term, message.sender)
+        core.persist(vote=core.vote_record)
         core.election_at = core.next_election_at()
     _send_vote_reply(core, message, is_granted=True)
 
@@ -110,8 +110,8 @@
 def _start_election(core: ReplicaCore, *, is_leadership_transfer: bool = False) -> None:
     term = core.term + 1
     log_decision("agreement-stand", replica=core.me, term=term)
-    core.vote = VoteRecord(term, core.me)
-    core.persist(vote=core.vote)
+    core.vote_record = VoteRecord(term, core.me)
+    core.persist(vote=core.vote_record)
     core.election_at = max(core.election_at, core.retry_at)
     election = Election(term, is_trial=False)
     core.election = election
