--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -160,7 +160,7 @@
         that candidates of one term must wait for different times.
         """
         spread = 1 + self.random.random()
-        self.election_at = self.clock + self.settings.start_timeout_s * spread
+        self.election_deadline = self.clock + self.settings.start_timeout_s * spread
         self.retry_at = self.clock + self.settings.election_timeout_s * spread
 
     def advance_clock(self, now: float) -> None:
@@ -267,7 +267,7 @@
         refused = Problem("not-leader", f"the leader stepped down: {reason}")
         for read in leadership.pending_reads:
             self.actions.append(Reply(read.token, Outcome.REFUSED, 0, refused))
-        self.election_at = self.next_election_at()
+        self.election_deadline = self.next_election_at()
 
     def commit_up_to(self, index: int) -> None:
         """Take entries as committed, have them applied and answer for them."""
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -123,7 +123,7 @@
             leading.tick(core, core.leadership)
             return
         configuration = core.log.configuration
-        is_due = core.clock >= core.election_at
+        is_due = core.clock >= core.election_deadline
         is_alone = configuration.voters == (core.me,) and core.election is None
         if core.may_stand and (is_due or is_alone):
             voting.start_pre_vote(core)
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -49,7 +49,7 @@
     if core.vote_record.voted_for is None:
         core.vote_record = VoteRecord(core.term, message.sender)
         core.persist(vote=core.vote_record)
-        core.election_at = core.next_election_at()
+        core.election_deadline = core.next_election_at()
     _send_vote_reply(core, message, is_granted=True)
 
 
@@ -112,7 +112,7 @@
     log_decision("agreement-stand", replica=core.me, term=term)
     core.vote_record = VoteRecord(term, core.me)
     core.persist(vote=core.vote_record)
-    core.election_at = max(core.election_at, core.retry_at)
+    core.election_deadline = max(core.election_deadline, core.retry_at)
     election = Election(term, is_trial=False)
     core.election = election
     last_persist = next(reversed(core.unsynced.values()))
