--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -161,7 +161,7 @@
         """
         spread = 1 + self.random.random()
         self.election_deadline = self.clock + self.settings.start_timeout_s * spread
-        self.retry_at = self.clock + self.settings.election_timeout_s * spread
+        self.election_retry_at = self.clock + self.settings.election_timeout_s * spread
 
     def advance_clock(self, now: float) -> None:
         """Take the caller's clock; forget what a jump of it makes untrue."""
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -112,7 +112,7 @@
     log_decision("agreement-stand", replica=core.me, term=term)
     core.vote_record = VoteRecord(term, core.me)
     core.persist(vote=core.vote_record)
-    core.election_deadline = max(core.election_deadline, core.retry_at)
+    core.election_deadline = max(core.election_deadline, core.election_retry_at)
     election = Election(term, is_trial=False)
     core.election = election
     last_persist = next(reversed(core.unsynced.values()))
