Rename join_at to next_join_request_at

The attribute is the time of the next join request.

Rename: libs/agreement/src/kumquatmux_agreement/core.py join_at next_join_request_at

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -107,7 +107,7 @@
         if settings.lease_share and start_s < settings.election_timeout_s:
             raise ValueError("a leader's lease needs the whole timeout at a start")
         self.heard_at = start_s - settings.election_timeout_s
-        self.join_at = 0.0
+        self.next_join_request_at = 0.0
         self.plan_elections()
         self.snapshot_asked = restored.snapshot.log_index
         self.persist_number = 0
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -127,7 +127,7 @@
         is_alone = configuration.voters == (core.me,) and core.election is None
         if core.may_stand and (is_due or is_alone):
             voting.start_pre_vote(core)
-        if self._is_forgotten() and core.clock >= core.join_at:
+        if self._is_forgotten() and core.clock >= core.next_join_request_at:
             self._ask_to_join()
 
     @_on.register
@@ -276,7 +276,7 @@
 
     def _ask_to_join(self) -> None:
         core = self.core
-        core.join_at = core.clock + core.settings.join_period_s
+        core.next_join_request_at = core.clock + core.settings.join_period_s
         for vm in core.settings.peers:
             core.send(JoinRequest(core.cluster, core.me), vm)
 
