--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -148,7 +148,7 @@
         agreed = self.log.configuration_at(self.commit)
         return self.me in self.log.configuration.voters + agreed.voters
 
-    def next_election_at(self) -> float:
+    def random_election_deadline(self) -> float:
         """Return a random time at which to stand for election."""
         timeout = self.settings.election_timeout_s
         return self.clock + timeout * (1 + self.random.random())
@@ -267,7 +267,7 @@
         refused = Problem("not-leader", f"the leader stepped down: {reason}")
         for read in leadership.pending_reads:
             self.actions.append(Reply(read.token, Outcome.REFUSED, 0, refused))
-        self.election_deadline = self.next_election_at()
+        self.election_deadline = self.random_election_deadline()
 
     def commit_up_to(self, index: int) -> None:
         """Take entries as committed, have them applied and answer for them."""
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -91,7 +91,7 @@
     core.election = None
     core.set_role(core.idle_role(), message.sender)
     core.heard_at = core.clock
-    core.election_deadline = core.next_election_at()
+    core.election_deadline = core.random_election_deadline()
     return True
 
 
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -49,7 +49,7 @@
     if core.vote_record.voted_for is None:
         core.vote_record = VoteRecord(core.term, message.sender)
         core.persist(vote=core.vote_record)
-        core.election_deadline = core.next_election_at()
+        core.election_deadline = core.random_election_deadline()
     _send_vote_reply(core, message, is_granted=True)
 
 
