--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -108,7 +108,7 @@
             raise ValueError("a leader's lease needs the whole timeout at a start")
         self.heard_at = start_s - settings.election_timeout_s
         self.next_join_request_at = 0.0
-        self.plan_elections()
+        self.schedule_elections()
         self.snapshot_asked = restored.snapshot.log_index
         self.persist_number = 0
         self.unsynced: dict[int, PendingPersist] = {}
@@ -153,7 +153,7 @@
         timeout = self.settings.election_timeout_s
         return self.clock + timeout * (1 + self.random.random())
 
-    def plan_elections(self) -> None:
+    def schedule_elections(self) -> None:
         """Draw when to ask for votes on trial again, and when to stand again.
 
         Asking binds nobody and may follow soon. Standing spoils a term for others, so
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -14,7 +14,7 @@
 
 def start_pre_vote(core: ReplicaCore) -> None:
     """Ask the voters whether they would vote for this replica."""
-    core.plan_elections()
+    core.schedule_elections()
     core.set_role(Role.CANDIDATE, None)
     election = Election(core.term + 1, is_trial=True)
     core.election = election
