--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -109,7 +109,7 @@
         self.heard_at = start_s - settings.election_timeout_s
         self.next_join_request_at = 0.0
         self.schedule_elections()
-        self.snapshot_asked = restored.snapshot.log_index
+        self.last_snapshot_index = restored.snapshot.log_index
         self.persist_number = 0
         self.unsynced: dict[int, PendingPersist] = {}
         self.actions: list[Action] = []
@@ -280,9 +280,9 @@
             self.actions.append(Apply(data))
         if self.leadership is not None:
             self.answer_committed(entries)
-        due = self.snapshot_asked + self.settings.snapshot_entries
+        due = self.last_snapshot_index + self.settings.snapshot_entries
         if index >= due:
-            self.snapshot_asked = index
+            self.last_snapshot_index = index
             self.actions.append(TakeSnapshot(index))
 
     def answer_committed(self, entries: tuple[Entry, ...]) -> None:
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -74,7 +74,7 @@
         for pending in core.unsynced.values():
             pending.last_index = snapshot.log_index
     core.commit = snapshot.log_index
-    core.snapshot_asked = snapshot.log_index
+    core.last_snapshot_index = snapshot.log_index
     core.persist(snapshot=snapshot, keep_entries=is_held)
     core.actions.append(InstallSnapshot(snapshot))
     core.configuration_changed()
