Rename persist_number to last_persist_number

The attribute is the number of the last Persist.

Rename: libs/agreement/src/kumquatmux_agreement/core.py persist_number last_persist_number

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -110,7 +110,7 @@
         self.next_join_request_at = 0.0
         self.schedule_elections()
         self.last_snapshot_index = restored.snapshot.log_index
-        self.persist_number = 0
+        self.last_persist_number = 0
         self.unsynced: dict[int, PendingPersist] = {}
         self.actions: list[Action] = []
         self.role = self.idle_role()
@@ -213,8 +213,8 @@
         keep_entries: bool = True,
     ) -> None:
         """Ask for something to be made durable."""
-        self.persist_number += 1
-        number = self.persist_number
+        self.last_persist_number += 1
+        number = self.last_persist_number
         self.unsynced[number] = PendingPersist(self.log.last_index)
         self.actions.append(Persist(number, vote, entries, snapshot, keep_entries))
 
