--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -44,7 +44,7 @@
 
     def __init__(self, last_index: int) -> None:
         self.last_index = last_index
-        self.then: list[Action] = []
+        self.deferred_actions: list[Action] = []
 
 
 class IncomingSnapshot:
@@ -200,7 +200,7 @@
         """Send a message once all that was asked for is synced."""
         if self.unsynced:
             last = next(reversed(self.unsynced.values()))
-            last.then.append(Send(to, message))
+            last.deferred_actions.append(Send(to, message))
         else:
             self.send(message, to)
 
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -162,7 +162,7 @@
         core = self.core
         pending = core.unsynced.pop(event.number)
         core.synced = pending.last_index
-        core.actions.extend(pending.then)
+        core.actions.extend(pending.deferred_actions)
         if not core.unsynced:
             voting.count_own_vote(core)
         leading.advance_commit(core)
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -116,7 +116,7 @@
     election = Election(term, is_trial=False)
     core.election = election
     last_persist = next(reversed(core.unsynced.values()))
-    last_persist.then.extend(
+    last_persist.deferred_actions.extend(
         _vote_requests(core, election, is_leadership_transfer=is_leadership_transfer)
     )
 
