Rename unsynced to pending_persists

The attribute holds PendingPersist objects.

Rename: libs/agreement/src/kumquatmux_agreement/core.py unsynced pending_persists

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -111,7 +111,7 @@
         self.schedule_elections()
         self.last_snapshot_index = restored.snapshot.log_index
         self.last_persist_number = 0
-        self.unsynced: dict[int, PendingPersist] = {}
+        self.pending_persists: dict[int, PendingPersist] = {}
         self.actions: list[Action] = []
         self.role = self.idle_role()
 
@@ -198,8 +198,8 @@
 
     def send_after_sync(self, message: Message, to: VmId) -> None:
         """Send a message once all that was asked for is synced."""
-        if self.unsynced:
-            last = next(reversed(self.unsynced.values()))
+        if self.pending_persists:
+            last = next(reversed(self.pending_persists.values()))
             last.deferred_actions.append(Send(to, message))
         else:
             self.send(message, to)
@@ -215,7 +215,7 @@
         """Ask for something to be made durable."""
         self.last_persist_number += 1
         number = self.last_persist_number
-        self.unsynced[number] = PendingPersist(self.log.last_index)
+        self.pending_persists[number] = PendingPersist(self.log.last_index)
         self.actions.append(Persist(number, vote, entries, snapshot, keep_entries))
 
     def append(self, entries: tuple[Entry, ...]) -> None:
@@ -224,7 +224,7 @@
         if first <= self.commit:
             raise AssertionError(f"committed entry {first} would be replaced")
         self.synced = min(self.synced, first - 1)
-        for pending in self.unsynced.values():
+        for pending in self.pending_persists.values():
             pending.last_index = min(pending.last_index, first - 1)
         self.log.append(entries)
         self.persist(entries=entries)
@@ -299,6 +299,6 @@
     def fail(self, problem: Problem) -> None:
         """Take no further part: what is on the disk is no longer known."""
         self.failure = problem
-        self.unsynced.clear()
+        self.pending_persists.clear()
         self.stop_leading(str(problem))
         self.set_role(Role.FAILED, None)
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -71,7 +71,7 @@
     else:
         core.log.reset(snapshot)
         core.synced = snapshot.log_index
-        for pending in core.unsynced.values():
+        for pending in core.pending_persists.values():
             pending.last_index = snapshot.log_index
     core.commit = snapshot.log_index
     core.last_snapshot_index = snapshot.log_index
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -160,10 +160,10 @@
     @_on.register
     def _(self, event: Persisted) -> None:
         core = self.core
-        pending = core.unsynced.pop(event.number)
+        pending = core.pending_persists.pop(event.number)
         core.synced = pending.last_index
         core.actions.extend(pending.deferred_actions)
-        if not core.unsynced:
+        if not core.pending_persists:
             voting.count_own_vote(core)
         leading.advance_commit(core)
 
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -115,7 +115,7 @@
     core.election_deadline = max(core.election_deadline, core.election_retry_at)
     election = Election(term, is_trial=False)
     core.election = election
-    last_persist = next(reversed(core.unsynced.values()))
+    last_persist = next(reversed(core.pending_persists.values()))
     last_persist.deferred_actions.extend(
         _vote_requests(core, election, is_leadership_transfer=is_leadership_transfer)
     )
