--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -93,7 +93,7 @@
         self.random = random
         self.vote_record = restored.vote
         self.log = Log(restored.snapshot, restored.entries)
-        self.synced = self.log.last_index
+        self.synced_index = self.log.last_index
         self.commit = restored.snapshot.log_index
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
@@ -223,7 +223,7 @@
         first = entries[0].log_index
         if first <= self.commit:
             raise AssertionError(f"committed entry {first} would be replaced")
-        self.synced = min(self.synced, first - 1)
+        self.synced_index = min(self.synced_index, first - 1)
         for pending in self.pending_persists.values():
             pending.last_index = min(pending.last_index, first - 1)
         self.log.append(entries)
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -70,7 +70,7 @@
         core.log.compact(snapshot, keep=0)
     else:
         core.log.reset(snapshot)
-        core.synced = snapshot.log_index
+        core.synced_index = snapshot.log_index
         for pending in core.pending_persists.values():
             pending.last_index = snapshot.log_index
     core.commit = snapshot.log_index
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -183,7 +183,7 @@
     leadership = core.leadership
     if leadership is None:
         return
-    index = leadership.quorum_match_index(core.log.configuration, core.synced)
+    index = leadership.quorum_match_index(core.log.configuration, core.synced_index)
     if index <= core.commit or core.log.term_at(index) != core.term:
         return
     core.commit_up_to(index)
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -161,7 +161,7 @@
     def _(self, event: Persisted) -> None:
         core = self.core
         pending = core.pending_persists.pop(event.number)
-        core.synced = pending.last_index
+        core.synced_index = pending.last_index
         core.actions.extend(pending.deferred_actions)
         if not core.pending_persists:
             voting.count_own_vote(core)
