--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -99,7 +99,7 @@
         self.leader: ReplicaId | None = None
         self.leadership: LeaderState | None = None
         self.election: Election | None = None
-        self.incoming: IncomingSnapshot | None = None
+        self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: Problem | None = None
         self.now = -math.inf
         self.clock = 0.0
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -43,11 +43,11 @@
     if message.log_index <= core.commit:
         _answer(core, message, is_matched=True, index=core.commit)
         return
-    incoming = core.incoming
+    incoming = core.incoming_snapshot
     is_other = incoming is None or incoming.log_index != message.log_index
     if incoming is None or is_other or incoming.term != message.term:
         incoming = IncomingSnapshot(message.log_index, message.term)
-        core.incoming = incoming
+        core.incoming_snapshot = incoming
     if message.offset == len(incoming.data):
         incoming.data += message.data
     if len(incoming.data) < message.total_bytes:
@@ -64,7 +64,7 @@
 
 
 def _install(core: ReplicaCore, snapshot: Snapshot) -> None:
-    core.incoming = None
+    core.incoming_snapshot = None
     is_held = core.log.term_at(snapshot.log_index) == snapshot.term
     if is_held:
         core.log.compact(snapshot, keep=0)
