Rename me to replica_id

The property returns the identifier of this replica.

Rename: libs/agreement/src/kumquatmux_agreement/core.py me replica_id

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -116,7 +116,7 @@
         self.role = self.idle_role()
 
     @property
-    def me(self) -> ReplicaId:
+    def replica_id(self) -> ReplicaId:
         """The name of this replica."""
         return self.settings.replica
 
@@ -146,7 +146,7 @@
         Others may need it to lead until then, because its log may be the longest.
         """
         agreed = self.log.configuration_at(self.commit)
-        return self.me in self.log.configuration.voters + agreed.voters
+        return self.replica_id in self.log.configuration.voters + agreed.voters
 
     def random_election_deadline(self) -> float:
         """Return a random time at which to stand for election."""
@@ -177,7 +177,7 @@
         configuration = self.log.configuration
         if self.may_stand:
             return Role.FOLLOWER
-        if self.me in configuration.learners:
+        if self.replica_id in configuration.learners:
             return Role.LEARNER
         return Role.OUTSIDER
 
@@ -188,7 +188,11 @@
         self.role = role
         self.leader = leader
         log_decision(
-            "agreement-role", replica=self.me, role=role, term=self.term, leader=leader
+            "agreement-role",
+            replica=self.replica_id,
+            role=role,
+            term=self.term,
+            leader=leader,
         )
         self.actions.append(RoleChanged(role, self.term, leader))
 
@@ -235,7 +239,7 @@
         """Follow the latest configuration of the log."""
         log_decision(
             "agreement-configuration",
-            replica=self.me,
+            replica=self.replica_id,
             index=self.log.configuration_index,
             voters=",".join(map(str, self.log.configuration.voters)),
             learners=",".join(map(str, self.log.configuration.learners)),
@@ -260,7 +264,7 @@
         self.leadership = None
         if leadership is None:
             return
-        log_decision("agreement-step-down", replica=self.me, reason=reason)
+        log_decision("agreement-step-down", replica=self.replica_id, reason=reason)
         unknown = Problem("outcome-unknown", f"the leader stepped down: {reason}")
         for token in leadership.pending_proposals.values():
             self.actions.append(Reply(token, Outcome.UNKNOWN, 0, unknown, self.leader))
@@ -293,7 +297,9 @@
         for entry in entries:
             token = leadership.pending_proposals.pop(entry.log_index, None)
             if token is not None:
-                reply = Reply(token, Outcome.COMMITTED, entry.log_index, None, self.me)
+                reply = Reply(
+                    token, Outcome.COMMITTED, entry.log_index, None, self.replica_id
+                )
                 self.actions.append(reply)
 
     def fail(self, problem: Problem) -> None:
