--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -132,7 +132,7 @@
         name = self.settings.cluster
         return f"{name}/{origin}" if origin else name
 
-    def is_of_cluster(self, cluster: str) -> bool:
+    def accepts_cluster(self, cluster: str) -> bool:
         """Return whether a message's cluster may be this replica's own."""
         if cluster == self.cluster:
             return True
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -189,7 +189,7 @@
         message = event.message
         if isinstance(message, JoinRequest):
             self._receive(message)
-        elif message.to == self.core.me and self.core.is_of_cluster(message.cluster):
+        elif message.to == self.core.me and self.core.accepts_cluster(message.cluster):
             self._receive(message)
 
     @singledispatchmethod
