--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -140,7 +140,7 @@
         return is_open and cluster.startswith(self.settings.cluster + "/")
 
     @property
-    def may_stand(self) -> bool:
+    def can_start_election(self) -> bool:
         """Whether it is a voter, or is until its removal is committed.
 
         Others may need it to lead until then, because its log may be the longest.
@@ -175,7 +175,7 @@
     def idle_role(self) -> Role:
         """Return the role it has when it neither leads nor stands."""
         configuration = self.log.configuration
-        if self.may_stand:
+        if self.can_start_election:
             return Role.FOLLOWER
         if self.replica_id in configuration.learners:
             return Role.LEARNER
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -125,7 +125,7 @@
         configuration = core.log.configuration
         is_due = core.clock >= core.election_deadline
         is_alone = configuration.voters == (core.me,) and core.election is None
-        if core.may_stand and (is_due or is_alone):
+        if core.can_start_election and (is_due or is_alone):
             voting.start_pre_vote(core)
         if self._is_forgotten() and core.clock >= core.next_join_request_at:
             self._ask_to_join()
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -89,7 +89,11 @@
 
 def handle_stand_now(core: ReplicaCore, message: StandNow) -> None:
     """Stand at once in place of a leader that stops."""
-    if message.term == core.term and core.may_stand and core.leadership is None:
+    if (
+        message.term == core.term
+        and core.can_start_election
+        and core.leadership is None
+    ):
         core.set_role(Role.CANDIDATE, None)
         _start_election(core, is_leadership_transfer=True)
 
