--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -113,7 +113,7 @@
         self.last_persist_number = 0
         self.pending_persists: dict[int, PendingPersist] = {}
         self.actions: list[Action] = []
-        self.role = self.idle_role()
+        self.role = self.passive_role()
 
     @property
     def replica_id(self) -> ReplicaId:
@@ -172,7 +172,7 @@
         if has_jumped and self.leadership is not None:
             self.leadership.discard_send_times()
 
-    def idle_role(self) -> Role:
+    def passive_role(self) -> Role:
         """Return the role it has when it neither leads nor stands."""
         configuration = self.log.configuration
         if self.can_start_election:
@@ -248,14 +248,14 @@
             following = self.log.last_index + 1
             self.leadership.track_members(self.log.configuration, following, self.clock)
         elif self.role not in (Role.CANDIDATE, Role.FAILED):
-            self.set_role(self.idle_role(), self.leader)
+            self.set_role(self.passive_role(), self.leader)
 
     def enter_term(self, term: int, leader: ReplicaId | None) -> None:
         """Move to a later term as a follower."""
         self.vote_record = VoteRecord(term)
         self.persist(vote=self.vote_record)
         self.stop_leading("a later term began")
-        self.set_role(self.idle_role(), leader)
+        self.set_role(self.passive_role(), leader)
 
     def stop_leading(self, reason: str) -> None:
         """Give up leading or standing; answer what is owed."""
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -89,7 +89,7 @@
     if core.leadership is not None:
         raise AssertionError(f"two leaders in term {message.term}")
     core.election = None
-    core.set_role(core.idle_role(), message.sender)
+    core.set_role(core.passive_role(), message.sender)
     core.heard_at = core.clock
     core.election_deadline = core.random_election_deadline()
     return True
