--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -233,9 +233,9 @@
         self.log.append(entries)
         self.persist(entries=entries)
         if any(entry.kind == EntryKind.CONFIGURATION for entry in entries):
-            self.configuration_changed()
+            self.apply_latest_configuration()
 
-    def configuration_changed(self) -> None:
+    def apply_latest_configuration(self) -> None:
         """Follow the latest configuration of the log."""
         log_decision(
             "agreement-configuration",
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -77,7 +77,7 @@
     core.last_snapshot_index = snapshot.log_index
     core.persist(snapshot=snapshot, keep_entries=is_held)
     core.actions.append(InstallSnapshot(snapshot))
-    core.configuration_changed()
+    core.apply_latest_configuration()
 
 
 def _is_from_leader(core: ReplicaCore, message: AppendRequest | SnapshotChunk) -> bool:
