--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -254,10 +254,10 @@
         """Move to a later term as a follower."""
         self.vote_record = VoteRecord(term)
         self.persist(vote=self.vote_record)
-        self.stop_leading("a later term began")
+        self.step_down("a later term began")
         self.set_role(self.passive_role(), leader)
 
-    def stop_leading(self, reason: str) -> None:
+    def step_down(self, reason: str) -> None:
         """Give up leading or standing; answer what is owed."""
         self.election = None
         leadership = self.leadership
@@ -306,5 +306,5 @@
         """Take no further part: what is on the disk is no longer known."""
         self.failure = problem
         self.pending_persists.clear()
-        self.stop_leading(str(problem))
+        self.step_down(str(problem))
         self.set_role(Role.FAILED, None)
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -102,7 +102,7 @@
     live = leadership.live_members(core.clock)
     has_grace = core.clock - leadership.leading_since < core.settings.election_timeout_s
     if not has_grace and not has_live_quorum(core.log.configuration, live):
-        core.stop_leading("no quorum answers")
+        core.step_down("no quorum answers")
         core.set_role(core.passive_role(), None)
         return
     if core.clock >= leadership.next_heartbeat_at:
@@ -189,7 +189,7 @@
     core.commit_up_to(index)
     if core.log.configuration_index <= index:
         if core.me not in core.log.configuration.voters:
-            core.stop_leading("it is no longer a voter")
+            core.step_down("it is no longer a voter")
             core.set_role(core.passive_role(), None)
             return
     for member, progress in leadership.progress.items():
