Rename answer_committed to reply_to_committed

The method replies to committed proposals.

Rename: libs/agreement/src/kumquatmux_agreement/core.py answer_committed reply_to_committed

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -283,13 +283,13 @@
         if data:
             self.actions.append(Apply(data))
         if self.leadership is not None:
-            self.answer_committed(entries)
+            self.reply_to_committed(entries)
         due = self.last_snapshot_index + self.settings.snapshot_entries
         if index >= due:
             self.last_snapshot_index = index
             self.actions.append(TakeSnapshot(index))
 
-    def answer_committed(self, entries: tuple[Entry, ...]) -> None:
+    def reply_to_committed(self, entries: tuple[Entry, ...]) -> None:
         """Answer the proposals that these entries carry out."""
         leadership = self.leadership
         if leadership is None:
