--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -145,8 +145,11 @@
 
         Others may need it to lead until then, because its log may be the longest.
         """
-        agreed = self.log.configuration_at(self.commit)
-        return self.replica_id in self.log.configuration.voters + agreed.voters
+        committed_configuration = self.log.configuration_at(self.commit)
+        return (
+            self.replica_id
+            in self.log.configuration.voters + committed_configuration.voters
+        )
 
     def random_election_deadline(self) -> float:
         """Return a random time at which to stand for election."""
