--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -162,9 +162,13 @@
         Asking binds nobody and may follow soon. Standing spoils a term for others, so
         that candidates of one term must wait for different times.
         """
-        spread = 1 + self.random.random()
-        self.election_deadline = self.clock + self.settings.start_timeout_s * spread
-        self.election_retry_at = self.clock + self.settings.election_timeout_s * spread
+        timeout_factor = 1 + self.random.random()
+        self.election_deadline = (
+            self.clock + self.settings.start_timeout_s * timeout_factor
+        )
+        self.election_retry_at = (
+            self.clock + self.settings.election_timeout_s * timeout_factor
+        )
 
     def advance_clock(self, now: float) -> None:
         """Take the caller's clock; forget what a jump of it makes untrue."""
