Rename gap to elapsed

The variable is the time elapsed since the last event.

Rename: libs/agreement/src/kumquatmux_agreement/core.py gap elapsed

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -172,10 +172,10 @@
 
     def advance_clock(self, now: float) -> None:
         """Take the caller's clock; forget what a jump of it makes untrue."""
-        gap = now - self.now if math.isfinite(self.now) else 0.0
+        elapsed = now - self.now if math.isfinite(self.now) else 0.0
         self.now = now
-        self.clock += min(max(gap, 0.0), self.settings.clock_gap_s)
-        has_jumped = not 0.0 <= gap <= self.settings.clock_gap_s
+        self.clock += min(max(elapsed, 0.0), self.settings.clock_gap_s)
+        has_jumped = not 0.0 <= elapsed <= self.settings.clock_gap_s
         if has_jumped and self.leadership is not None:
             self.leadership.discard_send_times()
 
