Rename start_s to start_timeout_s

The variable is the start timeout.

Rename: libs/agreement/src/kumquatmux_agreement/core.py start_s start_timeout_s

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -103,10 +103,10 @@
         self.failure: Problem | None = None
         self.now = -math.inf
         self.clock = 0.0
-        start_s = settings.start_timeout_s
-        if settings.lease_share and start_s < settings.election_timeout_s:
+        start_timeout_s = settings.start_timeout_s
+        if settings.lease_share and start_timeout_s < settings.election_timeout_s:
             raise ValueError("a leader's lease needs the whole timeout at a start")
-        self.heard_at = start_s - settings.election_timeout_s
+        self.heard_at = start_timeout_s - settings.election_timeout_s
         self.next_join_request_at = 0.0
         self.schedule_elections()
         self.last_snapshot_index = restored.snapshot.log_index
