--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -291,8 +291,8 @@
             self.actions.append(Apply(data))
         if self.leadership is not None:
             self.reply_to_committed(entries)
-        due = self.last_snapshot_index + self.settings.snapshot_entries
-        if index >= due:
+        snapshot_due_index = self.last_snapshot_index + self.settings.snapshot_entries
+        if index >= snapshot_due_index:
             self.last_snapshot_index = index
             self.actions.append(TakeSnapshot(index))
 
