Rename is_open to has_no_origin

The variable tells that the cluster's origin is unknown.

Rename: libs/agreement/src/kumquatmux_agreement/core.py is_open has_no_origin

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -136,8 +136,8 @@
         """Return whether a message's cluster may be this replica's own."""
         if cluster == self.cluster:
             return True
-        is_open = not self.log.configuration.origin
-        return is_open and cluster.startswith(self.settings.cluster + "/")
+        has_no_origin = not self.log.configuration.origin
+        return has_no_origin and cluster.startswith(self.settings.cluster + "/")
 
     @property
     def can_start_election(self) -> bool:
