--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -210,8 +210,8 @@
     def send_after_sync(self, message: Message, to: VmId) -> None:
         """Send a message once all that was asked for is synced."""
         if self.pending_persists:
-            last = next(reversed(self.pending_persists.values()))
-            last.deferred_actions.append(Send(to, message))
+            last_persist = next(reversed(self.pending_persists.values()))
+            last_persist.deferred_actions.append(Send(to, message))
         else:
             self.send(message, to)
 
