Rename following to next_index

The variable is the index of the next entry.

Rename: libs/agreement/src/kumquatmux_agreement/core.py following next_index

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -252,8 +252,10 @@
             learners=",".join(map(str, self.log.configuration.learners)),
         )
         if self.leadership is not None:
-            following = self.log.last_index + 1
-            self.leadership.track_members(self.log.configuration, following, self.clock)
+            next_index = self.log.last_index + 1
+            self.leadership.track_members(
+                self.log.configuration, next_index, self.clock
+            )
         elif self.role not in (Role.CANDIDATE, Role.FAILED):
             self.set_role(self.passive_role(), self.leader)
 
