Rename unknown to unknown_problem

The variable is a Problem.

Rename: libs/agreement/src/kumquatmux_agreement/core.py unknown unknown_problem

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -274,9 +274,13 @@
         if leadership is None:
             return
         log_decision("agreement-step-down", replica=self.replica_id, reason=reason)
-        unknown = Problem("outcome-unknown", f"the leader stepped down: {reason}")
+        unknown_problem = Problem(
+            "outcome-unknown", f"the leader stepped down: {reason}"
+        )
         for token in leadership.pending_proposals.values():
-            self.actions.append(Reply(token, Outcome.UNKNOWN, 0, unknown, self.leader))
+            self.actions.append(
+                Reply(token, Outcome.UNKNOWN, 0, unknown_problem, self.leader)
+            )
         refused = Problem("not-leader", f"the leader stepped down: {reason}")
         for read in leadership.pending_reads:
             self.actions.append(Reply(read.token, Outcome.REFUSED, 0, refused))
