Rename refused to not_leader_problem

The variable is a Problem.

Rename: libs/agreement/src/kumquatmux_agreement/core.py refused not_leader_problem

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -281,9 +281,11 @@
             self.actions.append(
                 Reply(token, Outcome.UNKNOWN, 0, unknown_problem, self.leader)
             )
-        refused = Problem("not-leader", f"the leader stepped down: {reason}")
+        not_leader_problem = Problem("not-leader", f"the leader stepped down: {reason}")
         for read in leadership.pending_reads:
-            self.actions.append(Reply(read.token, Outcome.REFUSED, 0, refused))
+            self.actions.append(
+                Reply(read.token, Outcome.REFUSED, 0, not_leader_problem)
+            )
         self.election_deadline = self.random_election_deadline()
 
     def commit_up_to(self, index: int) -> None:
