--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -231,12 +231,12 @@
 
     def append(self, entries: tuple[Entry, ...]) -> None:
         """Append entries to the log and ask for them to be synced."""
-        first = entries[0].log_index
-        if first <= self.commit:
-            raise AssertionError(f"committed entry {first} would be replaced")
-        self.synced_index = min(self.synced_index, first - 1)
+        first_index = entries[0].log_index
+        if first_index <= self.commit:
+            raise AssertionError(f"committed entry {first_index} would be replaced")
+        self.synced_index = min(self.synced_index, first_index - 1)
         for pending in self.pending_persists.values():
-            pending.last_index = min(pending.last_index, first - 1)
+            pending.last_index = min(pending.last_index, first_index - 1)
         self.log.append(entries)
         self.persist(entries=entries)
         if any(entry.kind == EntryKind.CONFIGURATION for entry in entries):
