Rename number to persist_number

The variable is the number of a Persist.

Rename: libs/agreement/src/kumquatmux_agreement/core.py number persist_number

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -225,9 +225,11 @@
     ) -> None:
         """Ask for something to be made durable."""
         self.last_persist_number += 1
-        number = self.last_persist_number
-        self.pending_persists[number] = PendingPersist(self.log.last_index)
-        self.actions.append(Persist(number, vote, entries, snapshot, keep_entries))
+        persist_number = self.last_persist_number
+        self.pending_persists[persist_number] = PendingPersist(self.log.last_index)
+        self.actions.append(
+            Persist(persist_number, vote, entries, snapshot, keep_entries)
+        )
 
     def append(self, entries: tuple[Entry, ...]) -> None:
         """Append entries to the log and ask for them to be synced."""
