--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -296,9 +296,9 @@
             return
         entries = self.log.entries_between(self.commit + 1, index)
         self.commit = index
-        data = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
-        if data:
-            self.actions.append(Apply(data))
+        data_entries = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
+        if data_entries:
+            self.actions.append(Apply(data_entries))
         if self.leadership is not None:
             self.reply_to_committed(entries)
         snapshot_due_index = self.last_snapshot_index + self.settings.snapshot_entries
