Rename timeout to election_timeout_s

The variable is the election timeout in seconds.

Rename: libs/agreement/src/kumquatmux_agreement/core.py timeout election_timeout_s

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -153,8 +153,8 @@
 
     def random_election_deadline(self) -> float:
         """Return a random time at which to stand for election."""
-        timeout = self.settings.election_timeout_s
-        return self.clock + timeout * (1 + self.random.random())
+        election_timeout_s = self.settings.election_timeout_s
+        return self.clock + election_timeout_s * (1 + self.random.random())
 
     def schedule_elections(self) -> None:
         """Draw when to ask for votes on trial again, and when to stand again.
