Rename index to log_index

The parameter is a log index.

Rename: libs/agreement/src/kumquatmux_agreement/core.py index log_index

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -56,8 +56,8 @@
         data: What has arrived without a gap.
     """
 
-    def __init__(self, index: int, term: int) -> None:
-        self.log_index = index
+    def __init__(self, log_index: int, term: int) -> None:
+        self.log_index = log_index
         self.term = term
         self.data = bytearray()
 
