Rename restored to durable_state

The parameter is a DurableState.

Rename: libs/agreement/src/kumquatmux_agreement/core.py restored durable_state

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -87,14 +87,14 @@
     """
 
     def __init__(
-        self, settings: ReplicaSettings, restored: DurableState, random: Random
+        self, settings: ReplicaSettings, durable_state: DurableState, random: Random
     ) -> None:
         self.settings = settings
         self.random = random
-        self.vote_record = restored.vote
-        self.log = Log(restored.snapshot, restored.entries)
+        self.vote_record = durable_state.vote
+        self.log = Log(durable_state.snapshot, durable_state.entries)
         self.synced_index = self.log.last_index
-        self.commit = restored.snapshot.log_index
+        self.commit = durable_state.snapshot.log_index
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
         self.leadership: LeaderState | None = None
@@ -109,7 +109,7 @@
         self.heard_at = start_timeout_s - settings.election_timeout_s
         self.next_join_request_at = 0.0
         self.schedule_elections()
-        self.last_snapshot_index = restored.snapshot.log_index
+        self.last_snapshot_index = durable_state.snapshot.log_index
         self.last_persist_number = 0
         self.pending_persists: dict[int, PendingPersist] = {}
         self.actions: list[Action] = []
