Rename restored to durable_state

The parameter is a DurableState.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py restored durable_state

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -55,7 +55,7 @@
     """
 
     def __init__(
-        self, settings: ReplicaSettings, restored: DurableState, random: Random
+        self, settings: ReplicaSettings, durable_state: DurableState, random: Random
     ) -> None:
         """Start from what the disk holds.
 
@@ -65,7 +65,7 @@
                 ``joining_state`` at first.
             random: Source of election timeouts.
         """
-        self.core = ReplicaCore(settings, restored, random)
+        self.core = ReplicaCore(settings, durable_state, random)
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Return the actions that follow an event.
