--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -13,7 +13,7 @@
 )
 
 
-def append_asked(core: ReplicaCore, message: AppendRequest) -> None:
+def handle_append_request(core: ReplicaCore, message: AppendRequest) -> None:
     """Take entries from a leader, or say where the logs part."""
     if not _is_from_leader(core, message):
         _answer(core, message, is_matched=False, index=core.log.last_index + 1)
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -206,7 +206,7 @@
 
     @_receive.register
     def _(self, message: AppendRequest) -> None:
-        following.append_asked(self.core, message)
+        following.handle_append_request(self.core, message)
 
     @_receive.register
     def _(self, message: AppendReply) -> None:
