--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -35,7 +35,7 @@
     _answer(core, message, is_matched=True, index=last_carried)
 
 
-def chunk_asked(core: ReplicaCore, message: SnapshotChunk) -> None:
+def handle_snapshot_chunk(core: ReplicaCore, message: SnapshotChunk) -> None:
     """Take a part of a snapshot; install it once it is whole."""
     if not _is_from_leader(core, message):
         _answer(core, message, is_matched=False, index=core.log.last_index + 1)
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -216,7 +216,7 @@
 
     @_receive.register
     def _(self, message: SnapshotChunk) -> None:
-        following.chunk_asked(self.core, message)
+        following.handle_snapshot_chunk(self.core, message)
 
     @_receive.register
     def _(self, message: SnapshotReply) -> None:
