--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -59,11 +59,11 @@
         message.configuration,
         bytes(incoming.data),
     )
-    _install(core, snapshot)
+    _install_snapshot(core, snapshot)
     _answer(core, message, is_matched=True, index=snapshot.log_index)
 
 
-def _install(core: ReplicaCore, snapshot: Snapshot) -> None:
+def _install_snapshot(core: ReplicaCore, snapshot: Snapshot) -> None:
     core.incoming_snapshot = None
     is_held = core.log.term_at(snapshot.log_index) == snapshot.term
     if is_held:
