Rename _is_from_leader to _accept_leader

The function accepts the sender as leader.

Rename: libs/agreement/src/kumquatmux_agreement/following.py _is_from_leader _accept_leader

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -15,7 +15,7 @@
 
 def handle_append_request(core: ReplicaCore, message: AppendRequest) -> None:
     """Take entries from a leader, or say where the logs part."""
-    if not _is_from_leader(core, message):
+    if not _accept_leader(core, message):
         _answer(core, message, is_matched=False, index=core.log.last_index + 1)
         return
     last_carried = message.previous_index + len(message.entries)
@@ -37,7 +37,7 @@
 
 def handle_snapshot_chunk(core: ReplicaCore, message: SnapshotChunk) -> None:
     """Take a part of a snapshot; install it once it is whole."""
-    if not _is_from_leader(core, message):
+    if not _accept_leader(core, message):
         _answer(core, message, is_matched=False, index=core.log.last_index + 1)
         return
     if message.log_index <= core.commit:
@@ -80,7 +80,7 @@
     core.apply_latest_configuration()
 
 
-def _is_from_leader(core: ReplicaCore, message: AppendRequest | SnapshotChunk) -> bool:
+def _accept_leader(core: ReplicaCore, message: AppendRequest | SnapshotChunk) -> bool:
     """Follow the sender if its term is not over."""
     if message.term < core.term:
         return False
