--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -16,32 +16,36 @@
 def handle_append_request(core: ReplicaCore, message: AppendRequest) -> None:
     """Take entries from a leader, or say where the logs part."""
     if not _accept_leader(core, message):
-        _answer(core, message, is_matched=False, index=core.log.last_index + 1)
+        _send_append_reply(
+            core, message, is_matched=False, index=core.log.last_index + 1
+        )
         return
     last_carried = message.previous_index + len(message.entries)
     if last_carried <= core.log.base_index:
-        _answer(core, message, is_matched=True, index=core.commit)
+        _send_append_reply(core, message, is_matched=True, index=core.commit)
         return
     previous = message.previous_index
     is_inside = previous < core.log.base_index
     if not is_inside and core.log.term_at(previous) != message.previous_term:
         hint = core.log.conflict_hint(previous)
-        _answer(core, message, is_matched=False, index=hint)
+        _send_append_reply(core, message, is_matched=False, index=hint)
         return
     unknown = core.log.missing_suffix(message.entries)
     if unknown:
         core.append(unknown)
     core.commit_up_to(min(message.commit_index, last_carried))
-    _answer(core, message, is_matched=True, index=last_carried)
+    _send_append_reply(core, message, is_matched=True, index=last_carried)
 
 
 def handle_snapshot_chunk(core: ReplicaCore, message: SnapshotChunk) -> None:
     """Take a part of a snapshot; install it once it is whole."""
     if not _accept_leader(core, message):
-        _answer(core, message, is_matched=False, index=core.log.last_index + 1)
+        _send_append_reply(
+            core, message, is_matched=False, index=core.log.last_index + 1
+        )
         return
     if message.log_index <= core.commit:
-        _answer(core, message, is_matched=True, index=core.commit)
+        _send_append_reply(core, message, is_matched=True, index=core.commit)
         return
     incoming = core.incoming_snapshot
     is_other = incoming is None or incoming.log_index != message.log_index
@@ -60,7 +64,7 @@
         bytes(incoming.data),
     )
     _install_snapshot(core, snapshot)
-    _answer(core, message, is_matched=True, index=snapshot.log_index)
+    _send_append_reply(core, message, is_matched=True, index=snapshot.log_index)
 
 
 def _install_snapshot(core: ReplicaCore, snapshot: Snapshot) -> None:
@@ -95,7 +99,7 @@
     return True
 
 
-def _answer(
+def _send_append_reply(
     core: ReplicaCore,
     message: AppendRequest | SnapshotChunk,
     *,
