--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -55,7 +55,7 @@
     if message.offset == len(incoming.data):
         incoming.data += message.data
     if len(incoming.data) < message.total_bytes:
-        _answer_chunk(core, message, len(incoming.data))
+        _send_snapshot_reply(core, message, len(incoming.data))
         return
     snapshot = Snapshot(
         message.log_index,
@@ -118,7 +118,9 @@
     core.send_after_sync(reply, message.sender.vm)
 
 
-def _answer_chunk(core: ReplicaCore, message: SnapshotChunk, received: int) -> None:
+def _send_snapshot_reply(
+    core: ReplicaCore, message: SnapshotChunk, received: int
+) -> None:
     reply = SnapshotReply(
         message.cluster,
         core.me,
