--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -20,8 +20,8 @@
             core, message, is_matched=False, index=core.log.last_index + 1
         )
         return
-    last_carried = message.previous_index + len(message.entries)
-    if last_carried <= core.log.base_index:
+    last_message_index = message.previous_index + len(message.entries)
+    if last_message_index <= core.log.base_index:
         _send_append_reply(core, message, is_matched=True, index=core.commit)
         return
     previous = message.previous_index
@@ -33,8 +33,8 @@
     unknown = core.log.missing_suffix(message.entries)
     if unknown:
         core.append(unknown)
-    core.commit_up_to(min(message.commit_index, last_carried))
-    _send_append_reply(core, message, is_matched=True, index=last_carried)
+    core.commit_up_to(min(message.commit_index, last_message_index))
+    _send_append_reply(core, message, is_matched=True, index=last_message_index)
 
 
 def handle_snapshot_chunk(core: ReplicaCore, message: SnapshotChunk) -> None:
