Rename previous to previous_index

The variable is a log index.

Rename: libs/agreement/src/kumquatmux_agreement/following.py previous previous_index

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -24,10 +24,10 @@
     if last_message_index <= core.log.base_index:
         _send_append_reply(core, message, is_matched=True, index=core.commit)
         return
-    previous = message.previous_index
-    is_inside = previous < core.log.base_index
-    if not is_inside and core.log.term_at(previous) != message.previous_term:
-        hint = core.log.conflict_hint(previous)
+    previous_index = message.previous_index
+    is_inside = previous_index < core.log.base_index
+    if not is_inside and core.log.term_at(previous_index) != message.previous_term:
+        hint = core.log.conflict_hint(previous_index)
         _send_append_reply(core, message, is_matched=False, index=hint)
         return
     unknown = core.log.missing_suffix(message.entries)
