--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -25,8 +25,8 @@
         _send_append_reply(core, message, is_matched=True, index=core.commit)
         return
     previous_index = message.previous_index
-    is_inside = previous_index < core.log.base_index
-    if not is_inside and core.log.term_at(previous_index) != message.previous_term:
+    is_before_base = previous_index < core.log.base_index
+    if not is_before_base and core.log.term_at(previous_index) != message.previous_term:
         hint = core.log.conflict_hint(previous_index)
         _send_append_reply(core, message, is_matched=False, index=hint)
         return
