Rename unknown to missing_entries

The variable holds the entries that the log lacks.

Rename: libs/agreement/src/kumquatmux_agreement/following.py unknown missing_entries

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -30,9 +30,9 @@
         hint = core.log.conflict_hint(previous_index)
         _send_append_reply(core, message, is_matched=False, index=hint)
         return
-    unknown = core.log.missing_suffix(message.entries)
-    if unknown:
-        core.append(unknown)
+    missing_entries = core.log.missing_suffix(message.entries)
+    if missing_entries:
+        core.append(missing_entries)
     core.commit_up_to(min(message.commit_index, last_message_index))
     _send_append_reply(core, message, is_matched=True, index=last_message_index)
 
