--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -48,8 +48,8 @@
         _send_append_reply(core, message, is_matched=True, index=core.commit)
         return
     incoming = core.incoming_snapshot
-    is_other = incoming is None or incoming.log_index != message.log_index
-    if incoming is None or is_other or incoming.term != message.term:
+    is_different_snapshot = incoming is None or incoming.log_index != message.log_index
+    if incoming is None or is_different_snapshot or incoming.term != message.term:
         incoming = IncomingSnapshot(message.log_index, message.term)
         core.incoming_snapshot = incoming
     if message.offset == len(incoming.data):
