Rename is_held to is_in_log

The variable tells whether the log contains the entry.

Rename: libs/agreement/src/kumquatmux_agreement/following.py is_held is_in_log

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -69,8 +69,8 @@
 
 def _install_snapshot(core: ReplicaCore, snapshot: Snapshot) -> None:
     core.incoming_snapshot = None
-    is_held = core.log.term_at(snapshot.log_index) == snapshot.term
-    if is_held:
+    is_in_log = core.log.term_at(snapshot.log_index) == snapshot.term
+    if is_in_log:
         core.log.compact(snapshot, keep=0)
     else:
         core.log.reset(snapshot)
@@ -79,7 +79,7 @@
             pending.last_index = snapshot.log_index
     core.commit = snapshot.log_index
     core.last_snapshot_index = snapshot.log_index
-    core.persist(snapshot=snapshot, keep_entries=is_held)
+    core.persist(snapshot=snapshot, keep_entries=is_in_log)
     core.actions.append(InstallSnapshot(snapshot))
     core.apply_latest_configuration()
 
