Rename index to log_index

The parameter is a log index.

Rename: libs/agreement/src/kumquatmux_agreement/following.py index log_index

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -17,35 +17,35 @@
     """Take entries from a leader, or say where the logs part."""
     if not _accept_leader(core, message):
         _send_append_reply(
-            core, message, is_matched=False, index=core.log.last_index + 1
+            core, message, is_matched=False, log_index=core.log.last_index + 1
         )
         return
     last_message_index = message.previous_index + len(message.entries)
     if last_message_index <= core.log.base_index:
-        _send_append_reply(core, message, is_matched=True, index=core.commit)
+        _send_append_reply(core, message, is_matched=True, log_index=core.commit)
         return
     previous_index = message.previous_index
     is_before_base = previous_index < core.log.base_index
     if not is_before_base and core.log.term_at(previous_index) != message.previous_term:
         hint = core.log.conflict_hint(previous_index)
-        _send_append_reply(core, message, is_matched=False, index=hint)
+        _send_append_reply(core, message, is_matched=False, log_index=hint)
         return
     missing_entries = core.log.missing_suffix(message.entries)
     if missing_entries:
         core.append(missing_entries)
     core.commit_up_to(min(message.commit_index, last_message_index))
-    _send_append_reply(core, message, is_matched=True, index=last_message_index)
+    _send_append_reply(core, message, is_matched=True, log_index=last_message_index)
 
 
 def handle_snapshot_chunk(core: ReplicaCore, message: SnapshotChunk) -> None:
     """Take a part of a snapshot; install it once it is whole."""
     if not _accept_leader(core, message):
         _send_append_reply(
-            core, message, is_matched=False, index=core.log.last_index + 1
+            core, message, is_matched=False, log_index=core.log.last_index + 1
         )
         return
     if message.log_index <= core.commit:
-        _send_append_reply(core, message, is_matched=True, index=core.commit)
+        _send_append_reply(core, message, is_matched=True, log_index=core.commit)
         return
     incoming = core.incoming_snapshot
     is_different_snapshot = incoming is None or incoming.log_index != message.log_index
@@ -64,7 +64,7 @@
         bytes(incoming.data),
     )
     _install_snapshot(core, snapshot)
-    _send_append_reply(core, message, is_matched=True, index=snapshot.log_index)
+    _send_append_reply(core, message, is_matched=True, log_index=snapshot.log_index)
 
 
 def _install_snapshot(core: ReplicaCore, snapshot: Snapshot) -> None:
@@ -104,7 +104,7 @@
     message: AppendRequest | SnapshotChunk,
     *,
     is_matched: bool,
-    index: int,
+    log_index: int,
 ) -> None:
     reply = AppendReply(
         message.cluster,
@@ -112,7 +112,7 @@
         message.sender,
         core.term,
         is_matched,
-        index,
+        log_index,
         message.round,
     )
     core.send_after_sync(reply, message.sender.vm)
