Rename received to received_bytes

The parameter is a number of bytes.

Rename: libs/agreement/src/kumquatmux_agreement/following.py received received_bytes

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -119,7 +119,7 @@
 
 
 def _send_snapshot_reply(
-    core: ReplicaCore, message: SnapshotChunk, received: int
+    core: ReplicaCore, message: SnapshotChunk, received_bytes: int
 ) -> None:
     reply = SnapshotReply(
         message.cluster,
@@ -127,7 +127,7 @@
         message.sender,
         core.term,
         message.log_index,
-        received,
+        received_bytes,
         message.round,
     )
     core.send_after_sync(reply, message.sender.vm)
