Rename hint to retry_index

The variable is the index at which the leader retries.

Rename: libs/agreement/src/kumquatmux_agreement/following.py hint retry_index

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -27,8 +27,8 @@
     previous_index = message.previous_index
     is_before_base = previous_index < core.log.base_index
     if not is_before_base and core.log.term_at(previous_index) != message.previous_term:
-        hint = core.log.conflict_hint(previous_index)
-        _send_append_reply(core, message, is_matched=False, log_index=hint)
+        retry_index = core.log.conflict_hint(previous_index)
+        _send_append_reply(core, message, is_matched=False, log_index=retry_index)
         return
     missing_entries = core.log.missing_suffix(message.entries)
     if missing_entries:
