--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -61,7 +61,7 @@
     send_entries(core, leadership)
 
 
-def read(core: ReplicaCore, leadership: LeaderState, token: str) -> None:
+def answer_read(core: ReplicaCore, leadership: LeaderState, token: str) -> None:
     """Answer a read at once under the lease, else after a round."""
     if core.commit < leadership.first_index:
         problem = Problem("not-ready", "the leader has not committed an entry yet")
@@ -204,7 +204,9 @@
         return
     answered = leadership.quorum_round(core.log.configuration)
     waiting = leadership.pending_reads
-    leadership.pending_reads = [read for read in waiting if read.round > answered]
+    leadership.pending_reads = [
+        read for read in waiting if answer_read.round > answered
+    ]
     for pending in waiting:
         if pending.round <= answered:
             reply = Reply(pending.token, Outcome.CURRENT, core.commit, None, core.me)
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -142,7 +142,7 @@
         if self.core.leadership is None:
             self._refuse(event, "not-leader", "this replica does not lead")
             return
-        leading.read(self.core, self.core.leadership, event.token)
+        leading.answer_read(self.core, self.core.leadership, event.token)
 
     @_on.register
     def _(self, event: ChangeMembership) -> None:
