--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -133,7 +133,7 @@
             send_next(core, leadership, member, progress)
 
 
-def append_answered(core: ReplicaCore, message: AppendReply) -> None:
+def handle_append_reply(core: ReplicaCore, message: AppendReply) -> None:
     """Take an acknowledgement."""
     leadership = core.leadership
     if leadership is None or message.term != core.term:
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -212,7 +212,7 @@
     def _(self, message: AppendReply) -> None:
         if self._is_over(message):
             return
-        leading.append_answered(self.core, message)
+        leading.handle_append_reply(self.core, message)
 
     @_receive.register
     def _(self, message: SnapshotChunk) -> None:
