--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -161,7 +161,7 @@
         send_next(core, leadership, sender, progress)
 
 
-def snapshot_answered(core: ReplicaCore, message: SnapshotReply) -> None:
+def handle_snapshot_reply(core: ReplicaCore, message: SnapshotReply) -> None:
     """Send the next part of a snapshot."""
     leadership = core.leadership
     if leadership is None or message.term != core.term:
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -222,7 +222,7 @@
     def _(self, message: SnapshotReply) -> None:
         if self._is_over(message):
             return
-        leading.snapshot_answered(self.core, message)
+        leading.handle_snapshot_reply(self.core, message)
 
     @_receive.register
     def _(self, message: StandNow) -> None:
