--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -72,7 +72,7 @@
         return
     leadership.pending_reads.append(PendingRead(token, leadership.round + 1))
     broadcast(core)
-    answer_reads(core, leadership)
+    answer_confirmed_reads(core, leadership)
 
 
 def change_membership(
@@ -155,7 +155,7 @@
         send_next(core, leadership, sender, progress)
     if core.leadership is not leadership:
         return
-    answer_reads(core, leadership)
+    answer_confirmed_reads(core, leadership)
     has_more = progress.next_index <= core.log.last_index
     if message.is_matched and has_more and _has_window(core, progress):
         send_next(core, leadership, sender, progress)
@@ -173,7 +173,7 @@
         return
     has_moved = message.received_bytes != progress.received_bytes
     progress.received_bytes = message.received_bytes
-    answer_reads(core, leadership)
+    answer_confirmed_reads(core, leadership)
     if has_moved:
         send_next(core, leadership, message.sender, progress)
 
@@ -198,7 +198,7 @@
             send_next(core, leadership, member, progress)
 
 
-def answer_reads(core: ReplicaCore, leadership: LeaderState) -> None:
+def answer_confirmed_reads(core: ReplicaCore, leadership: LeaderState) -> None:
     """Answer the reads whose round a quorum has answered."""
     if not leadership.pending_reads:
         return
