Rename _refusal to _proposal_problem

The function returns the Problem of a proposal.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py _refusal _proposal_problem

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -52,7 +52,7 @@
     core: ReplicaCore, leadership: LeaderState, data: bytes, token: str
 ) -> None:
     """Put bytes into the log, or refuse before they enter it."""
-    problem = _refusal(core, leadership, data)
+    problem = _proposal_problem(core, leadership, data)
     if problem is not None:
         core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
         return
@@ -213,7 +213,9 @@
             core.actions.append(reply)
 
 
-def _refusal(core: ReplicaCore, leadership: LeaderState, data: bytes) -> Problem | None:
+def _proposal_problem(
+    core: ReplicaCore, leadership: LeaderState, data: bytes
+) -> Problem | None:
     if not core.log.configuration.is_ready:
         voters = len(core.log.configuration.voters)
         wanted = len(core.log.configuration.vms)
