Rename _may_change to _can_change_membership

The function tells whether membership can change.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py _may_change _can_change_membership

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -85,7 +85,7 @@
     if len(wanted.vms) not in ALLOWED_SIZES or len(vms) != len(wanted.vms):
         detail = f"{len(vms)} control VMs named, 1, 3 or 5 different ones allowed"
         problem = Problem("membership-size", detail)
-    elif not _may_change(core, leadership):
+    elif not _can_change_membership(core, leadership):
         problem = Problem("membership-busy", "another membership change is under way")
     elif not has_live_quorum(wanted, leadership.live_members(core.clock)):
         problem = Problem("membership-quorum", "too few of the voters answer")
@@ -107,7 +107,7 @@
         return
     if core.clock >= leadership.next_heartbeat_at:
         broadcast(core)
-    if _may_change(core, leadership):
+    if _can_change_membership(core, leadership):
         _move_membership(core, leadership)
 
 
@@ -227,7 +227,7 @@
     return None
 
 
-def _may_change(core: ReplicaCore, leadership: LeaderState) -> bool:
+def _can_change_membership(core: ReplicaCore, leadership: LeaderState) -> bool:
     has_own = core.commit >= leadership.first_index
     return has_own and core.commit >= core.log.configuration_index
 
