Rename _move_membership to _advance_membership

The function advances a membership change by one step.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py _move_membership _advance_membership

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -108,7 +108,7 @@
     if core.clock >= leadership.next_heartbeat_at:
         broadcast(core)
     if _can_change_membership(core, leadership):
-        _move_membership(core, leadership)
+        _advance_membership(core, leadership)
 
 
 def broadcast(core: ReplicaCore) -> None:
@@ -232,7 +232,7 @@
     return has_own and core.commit >= core.log.configuration_index
 
 
-def _move_membership(core: ReplicaCore, leadership: LeaderState) -> None:
+def _advance_membership(core: ReplicaCore, leadership: LeaderState) -> None:
     configuration = core.log.configuration
     caught_up = frozenset(
         learner
