--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -129,7 +129,7 @@
     """Send members the entries they lack, as far as the window allows."""
     for member, progress in leadership.progress.items():
         has_more = progress.next_index <= core.log.last_index
-        if has_more and progress.snapshot is None and _has_window(core, progress):
+        if has_more and progress.snapshot is None and _has_window_space(core, progress):
             send_next(core, leadership, member, progress)
 
 
@@ -157,7 +157,7 @@
         return
     answer_confirmed_reads(core, leadership)
     has_more = progress.next_index <= core.log.last_index
-    if message.is_matched and has_more and _has_window(core, progress):
+    if message.is_matched and has_more and _has_window_space(core, progress):
         send_next(core, leadership, sender, progress)
 
 
@@ -248,7 +248,7 @@
         broadcast(core)
 
 
-def _has_window(core: ReplicaCore, progress: ReplicationProgress) -> bool:
+def _has_window_space(core: ReplicaCore, progress: ReplicationProgress) -> bool:
     return progress.next_index <= progress.match_index + core.settings.window_entries
 
 
