Rename _resend to _resend_index

The function returns an index.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py _resend _resend_index

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -120,7 +120,7 @@
     leadership.next_heartbeat_at = core.clock + core.settings.heartbeat_s
     for member, progress in leadership.progress.items():
         progress.next_index = max(
-            progress.match_index + 1, min(progress.next_index, _resend(progress))
+            progress.match_index + 1, min(progress.next_index, _resend_index(progress))
         )
         send_next(core, leadership, member, progress)
 
@@ -252,7 +252,7 @@
     return progress.next_index <= progress.match_index + core.settings.window_entries
 
 
-def _resend(progress: ReplicationProgress) -> int:
+def _resend_index(progress: ReplicationProgress) -> int:
     """Return where to go on after a round without an acknowledgement."""
     return progress.match_index + 1 if progress.match_index else progress.next_index
 
