Rename _note_lost_entries to _lower_match_index

The function lowers the match index.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py _note_lost_entries _lower_match_index

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -150,7 +150,7 @@
     else:
         hint = min(message.log_index, core.log.last_index + 1)
         if message.round >= progress.acknowledged_round:
-            _note_lost_entries(progress, sender, hint)
+            _lower_match_index(progress, sender, hint)
         progress.next_index = max(progress.match_index + 1, hint)
         send_next(core, leadership, sender, progress)
     if core.leadership is not leadership:
@@ -257,7 +257,7 @@
     return progress.match_index + 1 if progress.match_index else progress.next_index
 
 
-def _note_lost_entries(
+def _lower_match_index(
     progress: ReplicationProgress, member: ReplicaId, hint: int
 ) -> None:
     """Believe a member that no longer holds what it had acknowledged."""
