--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -100,8 +100,10 @@
 def tick(core: ReplicaCore, leadership: LeaderState) -> None:
     """Step down without a quorum, send heartbeats, move membership on."""
     live = leadership.live_members(core.clock)
-    has_grace = core.clock - leadership.leading_since < core.settings.election_timeout_s
-    if not has_grace and not has_live_quorum(core.log.configuration, live):
+    is_in_grace_period = (
+        core.clock - leadership.leading_since < core.settings.election_timeout_s
+    )
+    if not is_in_grace_period and not has_live_quorum(core.log.configuration, live):
         core.step_down("no quorum answers")
         core.set_role(core.passive_role(), None)
         return
