Rename has_own to has_committed_in_term

The variable tells whether an entry of the own term is committed.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py has_own has_committed_in_term

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -230,8 +230,8 @@
 
 
 def _can_change_membership(core: ReplicaCore, leadership: LeaderState) -> bool:
-    has_own = core.commit >= leadership.first_index
-    return has_own and core.commit >= core.log.configuration_index
+    has_committed_in_term = core.commit >= leadership.first_index
+    return has_committed_in_term and core.commit >= core.log.configuration_index
 
 
 def _advance_membership(core: ReplicaCore, leadership: LeaderState) -> None:
