--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -195,8 +195,8 @@
             core.set_role(core.passive_role(), None)
             return
     for member, progress in leadership.progress.items():
-        is_behind = progress.sent_commit_index < core.commit <= progress.match
-        if is_behind:
+        needs_commit_index = progress.sent_commit_index < core.commit <= progress.match
+        if needs_commit_index:
             send_next(core, leadership, member, progress)
 
 
