--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -173,10 +173,10 @@
         return
     if progress.snapshot.log_index != message.log_index:
         return
-    has_moved = message.received_bytes != progress.received_bytes
+    has_progressed = message.received_bytes != progress.received_bytes
     progress.received_bytes = message.received_bytes
     answer_confirmed_reads(core, leadership)
-    if has_moved:
+    if has_progressed:
         send_next(core, leadership, message.sender, progress)
 
 
