--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -130,8 +130,12 @@
 def send_entries(core: ReplicaCore, leadership: LeaderState) -> None:
     """Send members the entries they lack, as far as the window allows."""
     for member, progress in leadership.progress.items():
-        has_more = progress.next_index <= core.log.last_index
-        if has_more and progress.snapshot is None and _has_window_space(core, progress):
+        has_unsent_entries = progress.next_index <= core.log.last_index
+        if (
+            has_unsent_entries
+            and progress.snapshot is None
+            and _has_window_space(core, progress)
+        ):
             send_next(core, leadership, member, progress)
 
 
