--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -162,8 +162,8 @@
     if core.leadership is not leadership:
         return
     answer_confirmed_reads(core, leadership)
-    has_more = progress.next_index <= core.log.last_index
-    if message.is_matched and has_more and _has_window_space(core, progress):
+    has_unsent_entries = progress.next_index <= core.log.last_index
+    if message.is_matched and has_unsent_entries and _has_window_space(core, progress):
         send_next(core, leadership, sender, progress)
 
 
