Rename hint to retry_index

The variable is the index at which to retry.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py hint retry_index

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -154,10 +154,10 @@
         progress.next_index = max(progress.next_index, progress.match_index + 1)
         advance_commit(core)
     else:
-        hint = min(message.log_index, core.log.last_index + 1)
+        retry_index = min(message.log_index, core.log.last_index + 1)
         if message.round >= progress.acknowledged_round:
-            _lower_match_index(progress, sender, hint)
-        progress.next_index = max(progress.match_index + 1, hint)
+            _lower_match_index(progress, sender, retry_index)
+        progress.next_index = max(progress.match_index + 1, retry_index)
         send_next(core, leadership, sender, progress)
     if core.leadership is not leadership:
         return
