Rename hint to retry_index

The parameter is the index at which to retry.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py hint retry_index

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -264,9 +264,9 @@
 
 
 def _lower_match_index(
-    progress: ReplicationProgress, member: ReplicaId, hint: int
+    progress: ReplicationProgress, member: ReplicaId, retry_index: int
 ) -> None:
     """Believe a member that no longer holds what it had acknowledged."""
-    if hint <= progress.match_index:
-        log_decision("agreement-entries-lost", member=member, after=hint - 1)
-        progress.match_index = hint - 1
+    if retry_index <= progress.match_index:
+        log_decision("agreement-entries-lost", member=member, after=retry_index - 1)
+        progress.match_index = retry_index - 1
