Rename answered to quorum_round

The variable is the latest round a quorum has acknowledged.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py answered quorum_round

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -208,13 +208,13 @@
     """Answer the reads whose round a quorum has answered."""
     if not leadership.pending_reads:
         return
-    answered = leadership.quorum_round(core.log.configuration)
+    quorum_round = leadership.quorum_round(core.log.configuration)
     waiting = leadership.pending_reads
     leadership.pending_reads = [
-        read for read in waiting if answer_read.round > answered
+        read for read in waiting if answer_read.round > quorum_round
     ]
     for pending in waiting:
-        if pending.round <= answered:
+        if pending.round <= quorum_round:
             reply = Reply(pending.token, Outcome.CURRENT, core.commit, None, core.me)
             core.actions.append(reply)
 
