--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -209,11 +209,11 @@
     if not leadership.pending_reads:
         return
     quorum_round = leadership.quorum_round(core.log.configuration)
-    waiting = leadership.pending_reads
+    pending_reads = leadership.pending_reads
     leadership.pending_reads = [
-        read for read in waiting if answer_read.round > quorum_round
+        read for read in pending_reads if answer_read.round > quorum_round
     ]
-    for pending in waiting:
+    for pending in pending_reads:
         if pending.round <= quorum_round:
             reply = Reply(pending.token, Outcome.CURRENT, core.commit, None, core.me)
             core.actions.append(reply)
