Rename pending to pending_read

The variable is a pending read.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py pending pending_read

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -213,9 +213,11 @@
     leadership.pending_reads = [
         read for read in pending_reads if answer_read.round > quorum_round
     ]
-    for pending in pending_reads:
-        if pending.round <= quorum_round:
-            reply = Reply(pending.token, Outcome.CURRENT, core.commit, None, core.me)
+    for pending_read in pending_reads:
+        if pending_read.round <= quorum_round:
+            reply = Reply(
+                pending_read.token, Outcome.CURRENT, core.commit, None, core.me
+            )
             core.actions.append(reply)
 
 
