--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -99,11 +99,13 @@
 
 def tick(core: ReplicaCore, leadership: LeaderState) -> None:
     """Step down without a quorum, send heartbeats, move membership on."""
-    live = leadership.live_members(core.clock)
+    live_members = leadership.live_members(core.clock)
     is_in_grace_period = (
         core.clock - leadership.leading_since < core.settings.election_timeout_s
     )
-    if not is_in_grace_period and not has_live_quorum(core.log.configuration, live):
+    if not is_in_grace_period and not has_live_quorum(
+        core.log.configuration, live_members
+    ):
         core.step_down("no quorum answers")
         core.set_role(core.passive_role(), None)
         return
