--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -249,9 +249,9 @@
         for learner in configuration.learners
         if leadership.progress[learner].match >= core.commit
     )
-    live = leadership.live_members(core.clock)
+    live_members = leadership.live_members(core.clock)
     joining = leadership.recent_join_requests(core.clock)
-    view = MembershipView(core.me, joining, live, caught_up)
+    view = MembershipView(core.me, joining, live_members, caught_up)
     following = next_configuration(configuration, view)
     if following is not None:
         append_entry(core, EntryKind.CONFIGURATION, configuration=following)
