--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -250,8 +250,8 @@
         if leadership.progress[learner].match >= core.commit
     )
     live_members = leadership.live_members(core.clock)
-    joining = leadership.recent_join_requests(core.clock)
-    view = MembershipView(core.me, joining, live_members, caught_up)
+    join_requests = leadership.recent_join_requests(core.clock)
+    view = MembershipView(core.me, join_requests, live_members, caught_up)
     following = next_configuration(configuration, view)
     if following is not None:
         append_entry(core, EntryKind.CONFIGURATION, configuration=following)
