Rename following to next_step

The variable is the next configuration.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py following next_step

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -252,9 +252,9 @@
     live_members = leadership.live_members(core.clock)
     join_requests = leadership.recent_join_requests(core.clock)
     view = MembershipView(core.me, join_requests, live_members, caught_up)
-    following = next_configuration(configuration, view)
-    if following is not None:
-        append_entry(core, EntryKind.CONFIGURATION, configuration=following)
+    next_step = next_configuration(configuration, view)
+    if next_step is not None:
+        append_entry(core, EntryKind.CONFIGURATION, configuration=next_step)
         broadcast(core)
 
 
