Rename wanted to new_configuration

The variable is the new configuration.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py wanted new_configuration

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -80,19 +80,21 @@
 ) -> None:
     """Put the wanted VMs into the log; the steps follow one at a time."""
     current = core.log.configuration
-    wanted = current._replace(vms=tuple(sorted(set(vms))))
+    new_configuration = current._replace(vms=tuple(sorted(set(vms))))
     problem = None
-    if len(wanted.vms) not in ALLOWED_SIZES or len(vms) != len(wanted.vms):
+    if len(new_configuration.vms) not in ALLOWED_SIZES or len(vms) != len(
+        new_configuration.vms
+    ):
         detail = f"{len(vms)} control VMs named, 1, 3 or 5 different ones allowed"
         problem = Problem("membership-size", detail)
     elif not _can_change_membership(core, leadership):
         problem = Problem("membership-busy", "another membership change is under way")
-    elif not has_live_quorum(wanted, leadership.live_members(core.clock)):
+    elif not has_live_quorum(new_configuration, leadership.live_members(core.clock)):
         problem = Problem("membership-quorum", "too few of the voters answer")
     if problem is not None:
         core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
         return
-    index = append_entry(core, EntryKind.CONFIGURATION, configuration=wanted)
+    index = append_entry(core, EntryKind.CONFIGURATION, configuration=new_configuration)
     leadership.pending_proposals[index] = token
     send_entries(core, leadership)
 
