Rename current to current_configuration

The variable is the current configuration.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py current current_configuration

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -79,8 +79,8 @@
     core: ReplicaCore, leadership: LeaderState, vms: tuple[VmId, ...], token: str
 ) -> None:
     """Put the wanted VMs into the log; the steps follow one at a time."""
-    current = core.log.configuration
-    new_configuration = current._replace(vms=tuple(sorted(set(vms))))
+    current_configuration = core.log.configuration
+    new_configuration = current_configuration._replace(vms=tuple(sorted(set(vms))))
     problem = None
     if len(new_configuration.vms) not in ALLOWED_SIZES or len(vms) != len(
         new_configuration.vms
