Rename wanted to wanted_count

The variable is a number of VMs.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py wanted wanted_count

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -230,8 +230,8 @@
 ) -> Problem | None:
     if not core.log.configuration.is_ready:
         voters = len(core.log.configuration.voters)
-        wanted = len(core.log.configuration.vms)
-        return Problem("too-few-voters", f"{voters} of {wanted} control VMs vote")
+        wanted_count = len(core.log.configuration.vms)
+        return Problem("too-few-voters", f"{voters} of {wanted_count} control VMs vote")
     if len(data) > core.settings.entry_bytes:
         return Problem("entry-too-long", f"an entry of {len(data)} bytes")
     if len(leadership.pending_proposals) >= core.settings.pending_entries:
