--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -229,9 +229,11 @@
     core: ReplicaCore, leadership: LeaderState, data: bytes
 ) -> Problem | None:
     if not core.log.configuration.is_ready:
-        voters = len(core.log.configuration.voters)
+        voter_count = len(core.log.configuration.voters)
         wanted_count = len(core.log.configuration.vms)
-        return Problem("too-few-voters", f"{voters} of {wanted_count} control VMs vote")
+        return Problem(
+            "too-few-voters", f"{voter_count} of {wanted_count} control VMs vote"
+        )
     if len(data) > core.settings.entry_bytes:
         return Problem("entry-too-long", f"an entry of {len(data)} bytes")
     if len(leadership.pending_proposals) >= core.settings.pending_entries:
