Rename index to quorum_index

The variable is the highest index a quorum has persisted.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py index quorum_index

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -193,11 +193,13 @@
     leadership = core.leadership
     if leadership is None:
         return
-    index = leadership.quorum_match_index(core.log.configuration, core.synced_index)
-    if index <= core.commit or core.log.term_at(index) != core.term:
+    quorum_index = leadership.quorum_match_index(
+        core.log.configuration, core.synced_index
+    )
+    if quorum_index <= core.commit or core.log.term_at(quorum_index) != core.term:
         return
-    core.commit_up_to(index)
-    if core.log.configuration_index <= index:
+    core.commit_up_to(quorum_index)
+    if core.log.configuration_index <= quorum_index:
         if core.me not in core.log.configuration.voters:
             core.step_down("it is no longer a voter")
             core.set_role(core.passive_role(), None)
