--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -43,7 +43,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.problems import Problem
 
-KEPT_SNAPSHOTS = 16
+MAX_RETAINED_COMPACTIONS = 16
 """Compactions that entries outlast for a member that receives a snapshot."""
 
 
@@ -261,7 +261,9 @@
         )
         if oldest is None:
             return settings.keep_entries
-        needed = min(compacted - oldest, KEPT_SNAPSHOTS * settings.snapshot_entries)
+        needed = min(
+            compacted - oldest, MAX_RETAINED_COMPACTIONS * settings.snapshot_entries
+        )
         return max(settings.keep_entries, needed)
 
     def _is_forgotten(self) -> bool:
