Rename _on to _handle_event

The method handles an event.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py _on _handle_event

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -78,7 +78,7 @@
         if self.core.role == Role.FAILED:
             self._refuse(event, "replica-failed", str(self.core.failure))
         else:
-            self._on(event)
+            self._handle_event(event)
         actions = self.core.actions
         self.core.actions = []
         return actions
@@ -113,10 +113,10 @@
         )
 
     @singledispatchmethod
-    def _on(self, event: Event) -> None:
+    def _handle_event(self, event: Event) -> None:
         raise TypeError(f"unknown event {type(event).__name__}")
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: Tick) -> None:
         core = self.core
         if core.leadership is not None:
@@ -130,21 +130,21 @@
         if self._is_forgotten() and core.clock >= core.next_join_request_at:
             self._ask_to_join()
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: Propose) -> None:
         if self.core.leadership is None:
             self._refuse(event, "not-leader", "this replica does not lead")
             return
         leading.propose(self.core, self.core.leadership, event.data, event.token)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: Read) -> None:
         if self.core.leadership is None:
             self._refuse(event, "not-leader", "this replica does not lead")
             return
         leading.answer_read(self.core, self.core.leadership, event.token)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: ChangeMembership) -> None:
         leadership = self.core.leadership
         if leadership is None:
@@ -152,12 +152,12 @@
             return
         leading.change_membership(self.core, leadership, event.vms, event.token)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: HandOver) -> None:
         if self.core.leadership is not None:
             voting.transfer_leadership(self.core, self.core.leadership)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: Persisted) -> None:
         core = self.core
         pending = core.pending_persists.pop(event.number)
@@ -167,11 +167,11 @@
             voting.count_own_vote(core)
         leading.advance_commit(core)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: PersistFailed) -> None:
         self.core.fail(event.problem)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: SnapshotTaken) -> None:
         core = self.core
         if event.log_index <= core.log.snapshot.log_index:
@@ -184,7 +184,7 @@
         core.log.compact(snapshot, self._entries_to_keep(event.log_index))
         core.persist(snapshot=snapshot)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: Received) -> None:
         message = event.message
         if isinstance(message, JoinRequest):
