--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -188,47 +188,47 @@
     def _(self, event: Received) -> None:
         message = event.message
         if isinstance(message, JoinRequest):
-            self._receive(message)
+            self._handle_message(message)
         elif message.to == self.core.me and self.core.accepts_cluster(message.cluster):
-            self._receive(message)
+            self._handle_message(message)
 
     @singledispatchmethod
-    def _receive(self, message: object) -> None:
+    def _handle_message(self, message: object) -> None:
         raise TypeError(f"unknown message {type(message).__name__}")
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: VoteRequest) -> None:
         voting.handle_vote_request(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: VoteReply) -> None:
         voting.handle_vote_reply(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: AppendRequest) -> None:
         following.handle_append_request(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: AppendReply) -> None:
         if self._is_over(message):
             return
         leading.handle_append_reply(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: SnapshotChunk) -> None:
         following.handle_snapshot_chunk(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: SnapshotReply) -> None:
         if self._is_over(message):
             return
         leading.handle_snapshot_reply(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: StandNow) -> None:
         voting.handle_stand_now(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: JoinRequest) -> None:
         leadership = self.core.leadership
         if leadership is None:
