Rename _is_over to _enter_later_term

The method enters the later term of a message.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py _is_over _enter_later_term

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -210,7 +210,7 @@
 
     @_handle_message.register
     def _(self, message: AppendReply) -> None:
-        if self._is_over(message):
+        if self._enter_later_term(message):
             return
         leading.handle_append_reply(self.core, message)
 
@@ -220,7 +220,7 @@
 
     @_handle_message.register
     def _(self, message: SnapshotReply) -> None:
-        if self._is_over(message):
+        if self._enter_later_term(message):
             return
         leading.handle_snapshot_reply(self.core, message)
 
@@ -244,7 +244,7 @@
                 other=message.cluster,
             )
 
-    def _is_over(self, message: AppendReply | SnapshotReply) -> bool:
+    def _enter_later_term(self, message: AppendReply | SnapshotReply) -> bool:
         if message.term <= self.core.term:
             return False
         self.core.enter_term(message.term, None)
