--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -127,7 +127,7 @@
         is_alone = configuration.voters == (core.me,) and core.election is None
         if core.can_start_election and (is_due or is_alone):
             voting.start_pre_vote(core)
-        if self._is_forgotten() and core.clock >= core.next_join_request_at:
+        if self._should_request_join() and core.clock >= core.next_join_request_at:
             self._ask_to_join()
 
     @_handle_event.register
@@ -266,7 +266,7 @@
         )
         return max(settings.keep_entries, needed)
 
-    def _is_forgotten(self) -> bool:
+    def _should_request_join(self) -> bool:
         """Return whether no leader may know this replica.
 
         Its own log may name it a member by an entry that was never committed.
