Rename _ask_to_join to _send_join_requests

The method sends join requests.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py _ask_to_join _send_join_requests

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -128,7 +128,7 @@
         if core.can_start_election and (is_due or is_alone):
             voting.start_pre_vote(core)
         if self._should_request_join() and core.clock >= core.next_join_request_at:
-            self._ask_to_join()
+            self._send_join_requests()
 
     @_handle_event.register
     def _(self, event: Propose) -> None:
@@ -276,7 +276,7 @@
         is_silent = silence_s >= core.settings.election_timeout_s
         return core.leadership is None and (is_silent or core.role == Role.OUTSIDER)
 
-    def _ask_to_join(self) -> None:
+    def _send_join_requests(self) -> None:
         core = self.core
         core.next_join_request_at = core.clock + core.settings.join_period_s
         for vm in core.settings.peers:
