Rename is_alone to is_sole_voter

The variable tells whether the replica is the only voter.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py is_alone is_sole_voter

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -124,8 +124,8 @@
             return
         configuration = core.log.configuration
         is_due = core.clock >= core.election_deadline
-        is_alone = configuration.voters == (core.me,) and core.election is None
-        if core.can_start_election and (is_due or is_alone):
+        is_sole_voter = configuration.voters == (core.me,) and core.election is None
+        if core.can_start_election and (is_due or is_sole_voter):
             voting.start_pre_vote(core)
         if self._should_request_join() and core.clock >= core.next_join_request_at:
             self._send_join_requests()
