Rename is_due to is_election_due

The variable tells whether an election is due.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py is_due is_election_due

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -123,9 +123,9 @@
             leading.tick(core, core.leadership)
             return
         configuration = core.log.configuration
-        is_due = core.clock >= core.election_deadline
+        is_election_due = core.clock >= core.election_deadline
         is_sole_voter = configuration.voters == (core.me,) and core.election is None
-        if core.can_start_election and (is_due or is_sole_voter):
+        if core.can_start_election and (is_election_due or is_sole_voter):
             voting.start_pre_vote(core)
         if self._should_request_join() and core.clock >= core.next_join_request_at:
             self._send_join_requests()
