--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -250,7 +250,7 @@
         self.core.enter_term(message.term, None)
         return True
 
-    def _entries_to_keep(self, compacted: int) -> int:
+    def _entries_to_keep(self, snapshot_index: int) -> int:
         """Keep what a member needs next that is still receiving a snapshot."""
         settings = self.core.settings
         leadership = self.core.leadership
@@ -262,7 +262,8 @@
         if oldest is None:
             return settings.keep_entries
         needed = min(
-            compacted - oldest, MAX_RETAINED_COMPACTIONS * settings.snapshot_entries
+            snapshot_index - oldest,
+            MAX_RETAINED_COMPACTIONS * settings.snapshot_entries,
         )
         return max(settings.keep_entries, needed)
 
