--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -254,15 +254,15 @@
         """Keep what a member needs next that is still receiving a snapshot."""
         settings = self.core.settings
         leadership = self.core.leadership
-        oldest = (
+        oldest_snapshot_index = (
             leadership.oldest_sent_snapshot_index(self.core.clock)
             if leadership
             else None
         )
-        if oldest is None:
+        if oldest_snapshot_index is None:
             return settings.keep_entries
         needed = min(
-            snapshot_index - oldest,
+            snapshot_index - oldest_snapshot_index,
             MAX_RETAINED_COMPACTIONS * settings.snapshot_entries,
         )
         return max(settings.keep_entries, needed)
