Rename needed to needed_entries

The variable is a number of entries.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py needed needed_entries

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -261,11 +261,11 @@
         )
         if oldest_snapshot_index is None:
             return settings.keep_entries
-        needed = min(
+        needed_entries = min(
             snapshot_index - oldest_snapshot_index,
             MAX_RETAINED_COMPACTIONS * settings.snapshot_entries,
         )
-        return max(settings.keep_entries, needed)
+        return max(settings.keep_entries, needed_entries)
 
     def _should_request_join(self) -> bool:
         """Return whether no leader may know this replica.
