Rename one to progress

The variable is the progress of a member.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py one progress

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -97,7 +97,9 @@
             live = tuple(sorted(leadership.live_members(core.clock)))
             has_lease = leadership.lease_expires_at(configuration, core.now) > core.now
             others = leadership.progress.values()
-            lagging_members = [one for one in others if one.match < core.commit]
+            lagging_members = [
+                progress for progress in others if one.match < core.commit
+            ]
             is_whole = is_whole and not lagging_members
         return ReplicaStatus(
             core.role,
