--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -96,9 +96,9 @@
         if leadership is not None:
             live = tuple(sorted(leadership.live_members(core.clock)))
             has_lease = leadership.lease_expires_at(configuration, core.now) > core.now
-            others = leadership.progress.values()
+            member_progress = leadership.progress.values()
             lagging_members = [
-                progress for progress in others if one.match < core.commit
+                progress for progress in member_progress if one.match < core.commit
             ]
             is_whole = is_whole and not lagging_members
         return ReplicaStatus(
