--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -89,8 +89,10 @@
         configuration = core.log.configuration
         leadership = core.leadership
         voting_vms = sorted(voter.vm for voter in configuration.voters)
-        is_agreed = core.commit >= core.log.configuration_index
-        is_whole = is_agreed and voting_vms == sorted(configuration.vms)
+        is_configuration_committed = core.commit >= core.log.configuration_index
+        is_whole = is_configuration_committed and voting_vms == sorted(
+            configuration.vms
+        )
         live: tuple[ReplicaId, ...] = ()
         has_lease = False
         if leadership is not None:
