Rename live to live_members

The variable holds members.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py live live_members

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -93,10 +93,10 @@
         is_whole = is_configuration_committed and voting_vms == sorted(
             configuration.vms
         )
-        live: tuple[ReplicaId, ...] = ()
+        live_members: tuple[ReplicaId, ...] = ()
         has_lease = False
         if leadership is not None:
-            live = tuple(sorted(leadership.live_members(core.clock)))
+            live_members = tuple(sorted(leadership.live_members(core.clock)))
             has_lease = leadership.lease_expires_at(configuration, core.now) > core.now
             member_progress = leadership.progress.values()
             lagging_members = [
@@ -111,7 +111,7 @@
             core.log.last_index,
             core.log.snapshot.log_index,
             configuration,
-            live,
+            live_members,
             has_lease,
             is_whole,
         )
