Rename silence_s to since_contact_s

The variable is the time since the last leader contact.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py silence_s since_contact_s

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -277,8 +277,8 @@
         Its own log may name it a member by an entry that was never committed.
         """
         core = self.core
-        silence_s = core.clock - core.heard_at
-        is_silent = silence_s >= core.settings.election_timeout_s
+        since_contact_s = core.clock - core.heard_at
+        is_silent = since_contact_s >= core.settings.election_timeout_s
         return core.leadership is None and (is_silent or core.role == Role.OUTSIDER)
 
     def _send_join_requests(self) -> None:
