--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -278,8 +278,8 @@
         """
         core = self.core
         since_contact_s = core.clock - core.heard_at
-        is_silent = since_contact_s >= core.settings.election_timeout_s
-        return core.leadership is None and (is_silent or core.role == Role.OUTSIDER)
+        has_no_leader = since_contact_s >= core.settings.election_timeout_s
+        return core.leadership is None and (has_no_leader or core.role == Role.OUTSIDER)
 
     def _send_join_requests(self) -> None:
         core = self.core
