--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -164,9 +164,9 @@
     @_handle_event.register
     def _(self, event: Persisted) -> None:
         core = self.core
-        pending = core.pending_persists.pop(event.number)
-        core.synced_index = pending.last_index
-        core.actions.extend(pending.deferred_actions)
+        pending_persist = core.pending_persists.pop(event.number)
+        core.synced_index = pending_persist.last_index
+        core.actions.extend(pending_persist.deferred_actions)
         if not core.pending_persists:
             voting.count_own_vote(core)
         leading.advance_commit(core)
