--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -20,7 +20,7 @@
     AppendReply,
     SnapshotReply,
 )
-from kumquatmux_agreement.sending import send_next
+from kumquatmux_agreement.sending import send_next_message
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_core.problems import Problem
@@ -128,7 +128,7 @@
         progress.next_index = max(
             progress.match_index + 1, min(progress.next_index, _resend_index(progress))
         )
-        send_next(core, leadership, member, progress)
+        send_next_message(core, leadership, member, progress)
 
 
 def send_entries(core: ReplicaCore, leadership: LeaderState) -> None:
@@ -140,7 +140,7 @@
             and progress.snapshot is None
             and _has_window_space(core, progress)
         ):
-            send_next(core, leadership, member, progress)
+            send_next_message(core, leadership, member, progress)
 
 
 def handle_append_reply(core: ReplicaCore, message: AppendReply) -> None:
@@ -162,13 +162,13 @@
         if message.round >= progress.acknowledged_round:
             _lower_match_index(progress, sender, retry_index)
         progress.next_index = max(progress.match_index + 1, retry_index)
-        send_next(core, leadership, sender, progress)
+        send_next_message(core, leadership, sender, progress)
     if core.leadership is not leadership:
         return
     answer_confirmed_reads(core, leadership)
     has_unsent_entries = progress.next_index <= core.log.last_index
     if message.is_matched and has_unsent_entries and _has_window_space(core, progress):
-        send_next(core, leadership, sender, progress)
+        send_next_message(core, leadership, sender, progress)
 
 
 def handle_snapshot_reply(core: ReplicaCore, message: SnapshotReply) -> None:
@@ -185,7 +185,7 @@
     progress.received_bytes = message.received_bytes
     answer_confirmed_reads(core, leadership)
     if has_progressed:
-        send_next(core, leadership, message.sender, progress)
+        send_next_message(core, leadership, message.sender, progress)
 
 
 def advance_commit(core: ReplicaCore) -> None:
@@ -207,7 +207,7 @@
     for member, progress in leadership.progress.items():
         needs_commit_index = progress.sent_commit_index < core.commit <= progress.match
         if needs_commit_index:
-            send_next(core, leadership, member, progress)
+            send_next_message(core, leadership, member, progress)
 
 
 def answer_confirmed_reads(core: ReplicaCore, leadership: LeaderState) -> None:
--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -8,7 +8,7 @@
 from kumquatmux_agreement.messages import AppendRequest, SnapshotChunk
 
 
-def send_next(
+def send_next_message(
     core: ReplicaCore,
     leadership: LeaderState,
     member: ReplicaId,
