--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -16,7 +16,7 @@
 ) -> None:
     """Send a member the entries or the part of a snapshot it needs next."""
     if progress.snapshot is not None or progress.next_index <= core.log.base_index:
-        _send_chunk(core, leadership, member, progress)
+        _send_snapshot_chunk(core, leadership, member, progress)
         return
     previous = progress.next_index - 1
     previous_term = core.log.term_at(previous)
@@ -41,7 +41,7 @@
     core.send(message, member.vm)
 
 
-def _send_chunk(
+def _send_snapshot_chunk(
     core: ReplicaCore,
     leadership: LeaderState,
     member: ReplicaId,
