Rename previous to previous_index

The variable is a log index.

Rename: libs/agreement/src/kumquatmux_agreement/sending.py previous previous_index

--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -18,10 +18,10 @@
     if progress.snapshot is not None or progress.next_index <= core.log.base_index:
         _send_snapshot_chunk(core, leadership, member, progress)
         return
-    previous = progress.next_index - 1
-    previous_term = core.log.term_at(previous)
+    previous_index = progress.next_index - 1
+    previous_term = core.log.term_at(previous_index)
     if previous_term is None:
-        raise AssertionError(f"entry {previous} is not in the log")
+        raise AssertionError(f"entry {previous_index} is not in the log")
     entries = core.log.batch(
         progress.next_index, core.log.last_index, core.settings.batch_bytes
     )
@@ -32,7 +32,7 @@
         core.me,
         member,
         core.term,
-        previous,
+        previous_index,
         previous_term,
         entries,
         core.commit,
