--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -51,7 +51,7 @@
         progress.snapshot = core.log.snapshot
         progress.received_bytes = 0
     snapshot = progress.snapshot
-    start = progress.received_bytes
+    offset = progress.received_bytes
     message = SnapshotChunk(
         core.cluster,
         core.me,
@@ -60,9 +60,9 @@
         snapshot.log_index,
         snapshot.term,
         snapshot.configuration,
-        start,
+        offset,
         len(snapshot.data),
-        snapshot.data[start : start + core.settings.chunk_bytes],
+        snapshot.data[offset : offset + core.settings.chunk_bytes],
         leadership.round,
     )
     core.send(message, member.vm)
