--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -11,7 +11,7 @@
     ReplicationProgress,
 )
 from kumquatmux_agreement.membership import (
-    ALLOWED_SIZES,
+    ALLOWED_VM_COUNTS,
     MembershipView,
     has_live_quorum,
     next_configuration,
@@ -82,7 +82,7 @@
     current_configuration = core.log.configuration
     new_configuration = current_configuration._replace(vms=tuple(sorted(set(vms))))
     problem = None
-    if len(new_configuration.vms) not in ALLOWED_SIZES or len(vms) != len(
+    if len(new_configuration.vms) not in ALLOWED_VM_COUNTS or len(vms) != len(
         new_configuration.vms
     ):
         detail = f"{len(vms)} control VMs named, 1, 3 or 5 different ones allowed"
--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -6,7 +6,7 @@
 
 from kumquatmux_agreement.entries import Configuration, ReplicaId
 
-ALLOWED_SIZES = (1, 3, 5)
+ALLOWED_VM_COUNTS = (1, 3, 5)
 """How many control VMs a cluster may have."""
 
 
