Rename _drop_learner to _remove_learner

The function removes a learner.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py _drop_learner _remove_learner

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -40,7 +40,7 @@
     Any two configurations in a row differ by one voter at most, so that their
     quorums overlap.
     """
-    steps = (_drop_learner, _add_learner, _drop_dead, _promote, _drop_surplus)
+    steps = (_remove_learner, _add_learner, _drop_dead, _promote, _drop_surplus)
     for step in steps:
         following = step(current, view)
         if following is None:
@@ -50,7 +50,9 @@
     return None
 
 
-def _drop_learner(current: Configuration, view: MembershipView) -> Configuration | None:
+def _remove_learner(
+    current: Configuration, view: MembershipView
+) -> Configuration | None:
     replaced = {joining.vm for joining in view.joining}
     replaced |= {voter.vm for voter in current.voters if voter in view.live}
     for learner in current.learners:
