Rename _drop_dead to _remove_replaced_voter

The function removes a voter whose VM has a new replica.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py _drop_dead _remove_replaced_voter

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -40,7 +40,13 @@
     Any two configurations in a row differ by one voter at most, so that their
     quorums overlap.
     """
-    steps = (_remove_learner, _add_learner, _drop_dead, _promote, _drop_surplus)
+    steps = (
+        _remove_learner,
+        _add_learner,
+        _remove_replaced_voter,
+        _promote,
+        _drop_surplus,
+    )
     for step in steps:
         following = step(current, view)
         if following is None:
@@ -71,7 +77,9 @@
     return None
 
 
-def _drop_dead(current: Configuration, view: MembershipView) -> Configuration | None:
+def _remove_replaced_voter(
+    current: Configuration, view: MembershipView
+) -> Configuration | None:
     """Drop a voter whose VM has come back with another folder.
 
     A voter that is merely silent stays until its successor votes: it may come back,
