Rename _promote to _promote_learner

The function promotes a learner.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py _promote _promote_learner

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -44,7 +44,7 @@
         _remove_learner,
         _add_learner,
         _remove_replaced_voter,
-        _promote,
+        _promote_learner,
         _drop_surplus,
     )
     for step in steps:
@@ -93,7 +93,9 @@
     return None
 
 
-def _promote(current: Configuration, view: MembershipView) -> Configuration | None:
+def _promote_learner(
+    current: Configuration, view: MembershipView
+) -> Configuration | None:
     voting = {voter.vm for voter in current.voters}
     for learner in current.learners:
         if learner in view.caught_up and learner.vm not in voting:
