Rename _drop_surplus to _remove_surplus_voter

The function removes a surplus voter.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py _drop_surplus _remove_surplus_voter

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -45,7 +45,7 @@
         _add_learner,
         _remove_replaced_voter,
         _promote_learner,
-        _drop_surplus,
+        _remove_surplus_voter,
     )
     for step in steps:
         following = step(current, view)
@@ -104,7 +104,9 @@
     return None
 
 
-def _drop_surplus(current: Configuration, view: MembershipView) -> Configuration | None:
+def _remove_surplus_voter(
+    current: Configuration, view: MembershipView
+) -> Configuration | None:
     if len(current.voters) <= len(current.vms):
         return None
     unwanted = [voter for voter in current.voters if voter.vm not in current.vms]
