Rename _without to _without_member

The function returns a configuration without a member.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py _without _without_member

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -64,7 +64,7 @@
     for learner in current.learners:
         is_stale = learner.vm in replaced and learner not in view.live
         if learner.vm not in current.vms or is_stale:
-            return _without(current, learner)
+            return _without_member(current, learner)
     return None
 
 
@@ -89,7 +89,7 @@
     for voter in current.voters:
         is_silent = voter != view.leader and voter not in view.live
         if is_silent and voter.vm in ready:
-            return _without(current, voter)
+            return _without_member(current, voter)
     return None
 
 
@@ -99,7 +99,7 @@
     voting = {voter.vm for voter in current.voters}
     for learner in current.learners:
         if learner in view.caught_up and learner.vm not in voting:
-            smaller = _without(current, learner)
+            smaller = _without_member(current, learner)
             return smaller._replace(voters=(*current.voters, learner))
     return None
 
@@ -111,10 +111,10 @@
         return None
     unwanted = [voter for voter in current.voters if voter.vm not in current.vms]
     unwanted.sort(key=lambda voter: (voter == view.leader, voter in view.live))
-    return _without(current, unwanted[0]) if unwanted else None
+    return _without_member(current, unwanted[0]) if unwanted else None
 
 
-def _without(current: Configuration, replica: ReplicaId) -> Configuration:
+def _without_member(current: Configuration, replica: ReplicaId) -> Configuration:
     return current._replace(
         voters=tuple(voter for voter in current.voters if voter != replica),
         learners=tuple(learner for learner in current.learners if learner != replica),
