--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -22,7 +22,7 @@
 
     leader: ReplicaId
     joining: tuple[ReplicaId, ...]
-    live: frozenset[ReplicaId]
+    live_members: frozenset[ReplicaId]
     caught_up: frozenset[ReplicaId]
 
 
@@ -51,7 +51,7 @@
         following = step(current, view)
         if following is None:
             continue
-        if has_live_quorum(following, view.live):
+        if has_live_quorum(following, view.live_members):
             return following
     return None
 
@@ -60,9 +60,9 @@
     current: Configuration, view: MembershipView
 ) -> Configuration | None:
     replaced = {joining.vm for joining in view.joining}
-    replaced |= {voter.vm for voter in current.voters if voter in view.live}
+    replaced |= {voter.vm for voter in current.voters if voter in view.live_members}
     for learner in current.learners:
-        is_stale = learner.vm in replaced and learner not in view.live
+        is_stale = learner.vm in replaced and learner not in view.live_members
         if learner.vm not in current.vms or is_stale:
             return _without_member(current, learner)
     return None
@@ -70,7 +70,7 @@
 
 def _add_learner(current: Configuration, view: MembershipView) -> Configuration | None:
     present = {learner.vm for learner in current.learners}
-    present |= {voter.vm for voter in current.voters if voter in view.live}
+    present |= {voter.vm for voter in current.voters if voter in view.live_members}
     for joining in view.joining:
         if joining.vm in current.vms and joining.vm not in present:
             return current._replace(learners=(*current.learners, joining))
@@ -87,7 +87,7 @@
     """
     ready = {learner.vm for learner in view.caught_up}
     for voter in current.voters:
-        is_silent = voter != view.leader and voter not in view.live
+        is_silent = voter != view.leader and voter not in view.live_members
         if is_silent and voter.vm in ready:
             return _without_member(current, voter)
     return None
@@ -110,7 +110,7 @@
     if len(current.voters) <= len(current.vms):
         return None
     unwanted = [voter for voter in current.voters if voter.vm not in current.vms]
-    unwanted.sort(key=lambda voter: (voter == view.leader, voter in view.live))
+    unwanted.sort(key=lambda voter: (voter == view.leader, voter in view.live_members))
     return _without_member(current, unwanted[0]) if unwanted else None
 
 
