--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -26,9 +26,11 @@
     caught_up: frozenset[ReplicaId]
 
 
-def has_live_quorum(configuration: Configuration, live: frozenset[ReplicaId]) -> bool:
+def has_live_quorum(
+    configuration: Configuration, live_members: frozenset[ReplicaId]
+) -> bool:
     """Return whether enough voters of a configuration answer."""
-    answering = [voter for voter in configuration.voters if voter in live]
+    answering = [voter for voter in configuration.voters if voter in live_members]
     return len(answering) >= configuration.quorum
 
 
