--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -21,7 +21,7 @@
     """
 
     leader: ReplicaId
-    joining: tuple[ReplicaId, ...]
+    join_requests: tuple[ReplicaId, ...]
     live_members: frozenset[ReplicaId]
     caught_up: frozenset[ReplicaId]
 
@@ -61,7 +61,7 @@
 def _remove_learner(
     current: Configuration, view: MembershipView
 ) -> Configuration | None:
-    replaced = {joining.vm for joining in view.joining}
+    replaced = {joining.vm for joining in view.join_requests}
     replaced |= {voter.vm for voter in current.voters if voter in view.live_members}
     for learner in current.learners:
         is_stale = learner.vm in replaced and learner not in view.live_members
@@ -73,7 +73,7 @@
 def _add_learner(current: Configuration, view: MembershipView) -> Configuration | None:
     present = {learner.vm for learner in current.learners}
     present |= {voter.vm for voter in current.voters if voter in view.live_members}
-    for joining in view.joining:
+    for joining in view.join_requests:
         if joining.vm in current.vms and joining.vm not in present:
             return current._replace(learners=(*current.learners, joining))
     return None
