Rename joining to replica

The variable is a replica.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py joining replica

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -61,7 +61,7 @@
 def _remove_learner(
     current: Configuration, view: MembershipView
 ) -> Configuration | None:
-    replaced = {joining.vm for joining in view.join_requests}
+    replaced = {replica.vm for replica in view.join_requests}
     replaced |= {voter.vm for voter in current.voters if voter in view.live_members}
     for learner in current.learners:
         is_stale = learner.vm in replaced and learner not in view.live_members
