Rename joining to replica

The variable is a replica.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py joining replica

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -73,9 +73,9 @@
 def _add_learner(current: Configuration, view: MembershipView) -> Configuration | None:
     present = {learner.vm for learner in current.learners}
     present |= {voter.vm for voter in current.voters if voter in view.live_members}
-    for joining in view.join_requests:
-        if joining.vm in current.vms and joining.vm not in present:
-            return current._replace(learners=(*current.learners, joining))
+    for replica in view.join_requests:
+        if replica.vm in current.vms and replica.vm not in present:
+            return current._replace(learners=(*current.learners, replica))
     return None
 
 
