Rename caught_up to caught_up_learners

The field holds learners.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py caught_up caught_up_learners

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -23,7 +23,7 @@
     leader: ReplicaId
     join_requests: tuple[ReplicaId, ...]
     live_members: frozenset[ReplicaId]
-    caught_up: frozenset[ReplicaId]
+    caught_up_learners: frozenset[ReplicaId]
 
 
 def has_live_quorum(
@@ -87,7 +87,7 @@
     A voter that is merely silent stays until its successor votes: it may come back,
     and the rest may need its vote if another one loses its disk meanwhile.
     """
-    ready = {learner.vm for learner in view.caught_up}
+    ready = {learner.vm for learner in view.caught_up_learners}
     for voter in current.voters:
         is_silent = voter != view.leader and voter not in view.live_members
         if is_silent and voter.vm in ready:
@@ -100,7 +100,7 @@
 ) -> Configuration | None:
     voting = {voter.vm for voter in current.voters}
     for learner in current.learners:
-        if learner in view.caught_up and learner.vm not in voting:
+        if learner in view.caught_up_learners and learner.vm not in voting:
             smaller = _without_member(current, learner)
             return smaller._replace(voters=(*current.voters, learner))
     return None
