Rename following to candidate

The variable is a candidate for the next configuration.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py following candidate

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -50,11 +50,11 @@
         _remove_surplus_voter,
     )
     for step in steps:
-        following = step(current, view)
-        if following is None:
+        candidate = step(current, view)
+        if candidate is None:
             continue
-        if has_live_quorum(following, view.live_members):
-            return following
+        if has_live_quorum(candidate, view.live_members):
+            return candidate
     return None
 
 
