Rename steps to step_functions

The variable holds functions.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py steps step_functions

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -42,14 +42,14 @@
     Any two configurations in a row differ by one voter at most, so that their
     quorums overlap.
     """
-    steps = (
+    step_functions = (
         _remove_learner,
         _add_learner,
         _remove_replaced_voter,
         _promote_learner,
         _remove_surplus_voter,
     )
-    for step in steps:
+    for step in step_functions:
         candidate = step(current, view)
         if candidate is None:
             continue
