Rename answering to live_voters

The variable holds the live voters.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py answering live_voters

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -30,8 +30,8 @@
     configuration: Configuration, live_members: frozenset[ReplicaId]
 ) -> bool:
     """Return whether enough voters of a configuration answer."""
-    answering = [voter for voter in configuration.voters if voter in live_members]
-    return len(answering) >= configuration.quorum
+    live_voters = [voter for voter in configuration.voters if voter in live_members]
+    return len(live_voters) >= configuration.quorum
 
 
 def next_configuration(
