Rename replaced to replaced_vms

The variable holds VMs.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py replaced replaced_vms

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -61,10 +61,10 @@
 def _remove_learner(
     current: Configuration, view: MembershipView
 ) -> Configuration | None:
-    replaced = {replica.vm for replica in view.join_requests}
-    replaced |= {voter.vm for voter in current.voters if voter in view.live_members}
+    replaced_vms = {replica.vm for replica in view.join_requests}
+    replaced_vms |= {voter.vm for voter in current.voters if voter in view.live_members}
     for learner in current.learners:
-        is_stale = learner.vm in replaced and learner not in view.live_members
+        is_stale = learner.vm in replaced_vms and learner not in view.live_members
         if learner.vm not in current.vms or is_stale:
             return _without_member(current, learner)
     return None
