Rename present to represented_vms

The variable holds VMs.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py present represented_vms

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -71,10 +71,12 @@
 
 
 def _add_learner(current: Configuration, view: MembershipView) -> Configuration | None:
-    present = {learner.vm for learner in current.learners}
-    present |= {voter.vm for voter in current.voters if voter in view.live_members}
+    represented_vms = {learner.vm for learner in current.learners}
+    represented_vms |= {
+        voter.vm for voter in current.voters if voter in view.live_members
+    }
     for replica in view.join_requests:
-        if replica.vm in current.vms and replica.vm not in present:
+        if replica.vm in current.vms and replica.vm not in represented_vms:
             return current._replace(learners=(*current.learners, replica))
     return None
 
