Rename ready to caught_up_vms

The variable holds VMs.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py ready caught_up_vms

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -89,10 +89,10 @@
     A voter that is merely silent stays until its successor votes: it may come back,
     and the rest may need its vote if another one loses its disk meanwhile.
     """
-    ready = {learner.vm for learner in view.caught_up_learners}
+    caught_up_vms = {learner.vm for learner in view.caught_up_learners}
     for voter in current.voters:
         is_silent = voter != view.leader and voter not in view.live_members
-        if is_silent and voter.vm in ready:
+        if is_silent and voter.vm in caught_up_vms:
             return _without_member(current, voter)
     return None
 
