Rename voting to voting_vms

The variable holds VMs.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py voting voting_vms

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -100,9 +100,9 @@
 def _promote_learner(
     current: Configuration, view: MembershipView
 ) -> Configuration | None:
-    voting = {voter.vm for voter in current.voters}
+    voting_vms = {voter.vm for voter in current.voters}
     for learner in current.learners:
-        if learner in view.caught_up_learners and learner.vm not in voting:
+        if learner in view.caught_up_learners and learner.vm not in voting_vms:
             smaller = _without_member(current, learner)
             return smaller._replace(voters=(*current.voters, learner))
     return None
