Rename smaller to without_learner

The variable is the configuration without the learner.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py smaller without_learner

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -103,8 +103,8 @@
     voting_vms = {voter.vm for voter in current.voters}
     for learner in current.learners:
         if learner in view.caught_up_learners and learner.vm not in voting_vms:
-            smaller = _without_member(current, learner)
-            return smaller._replace(voters=(*current.voters, learner))
+            without_learner = _without_member(current, learner)
+            return without_learner._replace(voters=(*current.voters, learner))
     return None
 
 
