Rename unwanted to surplus_voters

The variable holds voters.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py unwanted surplus_voters

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -113,9 +113,11 @@
 ) -> Configuration | None:
     if len(current.voters) <= len(current.vms):
         return None
-    unwanted = [voter for voter in current.voters if voter.vm not in current.vms]
-    unwanted.sort(key=lambda voter: (voter == view.leader, voter in view.live_members))
-    return _without_member(current, unwanted[0]) if unwanted else None
+    surplus_voters = [voter for voter in current.voters if voter.vm not in current.vms]
+    surplus_voters.sort(
+        key=lambda voter: (voter == view.leader, voter in view.live_members)
+    )
+    return _without_member(current, surplus_voters[0]) if surplus_voters else None
 
 
 def _without_member(current: Configuration, replica: ReplicaId) -> Configuration:
