Rename is_silent to is_unresponsive

The variable tells whether the voter does not respond.

Rename: libs/agreement/src/kumquatmux_agreement/membership.py is_silent is_unresponsive

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -91,8 +91,8 @@
     """
     caught_up_vms = {learner.vm for learner in view.caught_up_learners}
     for voter in current.voters:
-        is_silent = voter != view.leader and voter not in view.live_members
-        if is_silent and voter.vm in caught_up_vms:
+        is_unresponsive = voter != view.leader and voter not in view.live_members
+        if is_unresponsive and voter.vm in caught_up_vms:
             return _without_member(current, voter)
     return None
 
