Rename wanted to required_votes

The variable is a number of votes.

Rename: libs/agreement/src/kumquatmux_agreement/entries.py wanted required_votes

--- a/libs/agreement/src/kumquatmux_agreement/entries.py
+++ b/libs/agreement/src/kumquatmux_agreement/entries.py
@@ -55,8 +55,8 @@
         A majority of the voters, and while VMs are missing as many as a majority of
         the wanted VMs, so that an accepted entry outlives any minority of them.
         """
-        wanted = min(len(self.voters), _majority(len(self.vms)))
-        return max(_majority(len(self.voters)), wanted)
+        required_votes = min(len(self.voters), _majority(len(self.vms)))
+        return max(_majority(len(self.voters)), required_votes)
 
     @property
     def is_ready(self) -> bool:
