Rename _grown to _add_voter_vms

The function adds VMs.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py _grown _add_voter_vms

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -50,7 +50,7 @@
     """
     spare = [one for one in view.present if one.vm not in view.wanted]
     if len(view.wanted) < view.size:
-        return _grown(view, spare)
+        return _add_voter_vms(view, spare)
     for vm in view.wanted:
         if vm in view.gone and spare:
             chosen = _best(view, spare, set(view.wanted) - {vm})
@@ -58,7 +58,7 @@
     return None
 
 
-def _grown(view: SeatsView, spare: list[Candidate]) -> tuple[VmId, ...] | None:
+def _add_voter_vms(view: SeatsView, spare: list[Candidate]) -> tuple[VmId, ...] | None:
     missing = view.size - len(view.wanted)
     if len(spare) < missing:
         return None
