Rename _best to _select_spare_vm

The function selects a spare VM.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py _best _select_spare_vm

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -53,7 +53,7 @@
         return _add_voter_vms(view, spare)
     for vm in view.wanted:
         if vm in view.gone and spare:
-            chosen = _best(view, spare, set(view.wanted) - {vm})
+            chosen = _select_spare_vm(view, spare, set(view.wanted) - {vm})
             return tuple(sorted({*view.wanted, chosen} - {vm}))
     return None
 
@@ -64,13 +64,15 @@
         return None
     wanted = set(view.wanted)
     for _ in range(missing):
-        chosen = _best(view, spare, wanted)
+        chosen = _select_spare_vm(view, spare, wanted)
         wanted.add(chosen)
         spare = [one for one in spare if one.vm != chosen]
     return tuple(sorted(wanted))
 
 
-def _best(view: SeatsView, spare: list[Candidate], seated: set[VmId]) -> VmId:
+def _select_spare_vm(
+    view: SeatsView, spare: list[Candidate], seated: set[VmId]
+) -> VmId:
     """Return the spare VM whose zone holds the fewest seats."""
     zones = {one.vm: one.zone for one in view.present}
     taken = [zones.get(vm) for vm in seated]
