--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -48,12 +48,12 @@
     A seat moves only from a VM that is gone to one that is present, so that a
     short silence moves nothing while nobody waits for the seat.
     """
-    spare = [one for one in view.present if one.vm not in view.wanted]
+    spare_vms = [one for one in view.present if one.vm not in view.wanted]
     if len(view.wanted) < view.size:
-        return _add_voter_vms(view, spare)
+        return _add_voter_vms(view, spare_vms)
     for vm in view.wanted:
-        if vm in view.gone and spare:
-            chosen = _select_spare_vm(view, spare, set(view.wanted) - {vm})
+        if vm in view.gone and spare_vms:
+            chosen = _select_spare_vm(view, spare_vms, set(view.wanted) - {vm})
             return tuple(sorted({*view.wanted, chosen} - {vm}))
     return None
 
