--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -58,15 +58,17 @@
     return None
 
 
-def _add_voter_vms(view: SeatsView, spare: list[Candidate]) -> tuple[VmId, ...] | None:
+def _add_voter_vms(
+    view: SeatsView, spare_vms: list[Candidate]
+) -> tuple[VmId, ...] | None:
     missing = view.size - len(view.wanted)
-    if len(spare) < missing:
+    if len(spare_vms) < missing:
         return None
     wanted = set(view.wanted)
     for _ in range(missing):
-        chosen = _select_spare_vm(view, spare, wanted)
+        chosen = _select_spare_vm(view, spare_vms, wanted)
         wanted.add(chosen)
-        spare = [one for one in spare if one.vm != chosen]
+        spare = [one for one in spare_vms if one.vm != chosen]
     return tuple(sorted(wanted))
 
 
