--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -68,7 +68,7 @@
     for _ in range(missing):
         chosen = _select_spare_vm(view, spare_vms, wanted)
         wanted.add(chosen)
-        spare = [one for one in spare_vms if one.vm != chosen]
+        spare_vms = [one for one in spare_vms if one.vm != chosen]
     return tuple(sorted(wanted))
 
 
