--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -73,10 +73,10 @@
 
 
 def _select_spare_vm(
-    view: SeatsView, spare: list[Candidate], seated: set[VmId]
+    view: SeatsView, spare_vms: list[Candidate], seated: set[VmId]
 ) -> VmId:
     """Return the spare VM whose zone holds the fewest seats."""
     zones = {one.vm: one.zone for one in view.present}
     taken = [zones.get(vm) for vm in seated]
-    chosen = min(spare, key=lambda one: (taken.count(one.zone), one.vm))
+    chosen = min(spare_vms, key=lambda one: (taken.count(one.zone), one.vm))
     return chosen.vm
