Rename missing to missing_count

The variable is a number.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py missing missing_count

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -61,11 +61,11 @@
 def _add_voter_vms(
     view: SeatsView, spare_vms: list[Candidate]
 ) -> tuple[VmId, ...] | None:
-    missing = view.size - len(view.wanted)
-    if len(spare_vms) < missing:
+    missing_count = view.size - len(view.wanted)
+    if len(spare_vms) < missing_count:
         return None
     wanted = set(view.wanted)
-    for _ in range(missing):
+    for _ in range(missing_count):
         chosen = _select_spare_vm(view, spare_vms, wanted)
         wanted.add(chosen)
         spare_vms = [one for one in spare_vms if one.vm != chosen]
