Rename seated to voter_vms

The parameter holds the VMs of voters.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py seated voter_vms

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -73,10 +73,10 @@
 
 
 def _select_spare_vm(
-    view: SeatsView, spare_vms: list[Candidate], seated: set[VmId]
+    view: SeatsView, spare_vms: list[Candidate], voter_vms: set[VmId]
 ) -> VmId:
     """Return the spare VM whose zone holds the fewest seats."""
     zones = {one.vm: one.zone for one in view.present}
-    taken = [zones.get(vm) for vm in seated]
+    taken = [zones.get(vm) for vm in voter_vms]
     chosen = min(spare_vms, key=lambda one: (taken.count(one.zone), one.vm))
     return chosen.vm
