Rename taken to occupied_zones

The variable holds zones.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py taken occupied_zones

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -77,6 +77,6 @@
 ) -> VmId:
     """Return the spare VM whose zone holds the fewest seats."""
     zones = {one.vm: one.zone for one in view.present}
-    taken = [zones.get(vm) for vm in voter_vms]
-    chosen = min(spare_vms, key=lambda one: (taken.count(one.zone), one.vm))
+    occupied_zones = [zones.get(vm) for vm in voter_vms]
+    chosen = min(spare_vms, key=lambda one: (occupied_zones.count(one.zone), one.vm))
     return chosen.vm
