Rename chosen to selected_vm

The variable is the selected VM.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py chosen selected_vm

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -53,8 +53,8 @@
         return _add_voter_vms(view, spare_vms)
     for vm in view.wanted:
         if vm in view.gone and spare_vms:
-            chosen = _select_spare_vm(view, spare_vms, set(view.wanted) - {vm})
-            return tuple(sorted({*view.wanted, chosen} - {vm}))
+            selected_vm = _select_spare_vm(view, spare_vms, set(view.wanted) - {vm})
+            return tuple(sorted({*view.wanted, selected_vm} - {vm}))
     return None
 
 
