Rename chosen to selected_vm

The variable is the selected VM.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py chosen selected_vm

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -66,9 +66,9 @@
         return None
     wanted = set(view.wanted)
     for _ in range(missing_count):
-        chosen = _select_spare_vm(view, spare_vms, wanted)
-        wanted.add(chosen)
-        spare_vms = [one for one in spare_vms if one.vm != chosen]
+        selected_vm = _select_spare_vm(view, spare_vms, wanted)
+        wanted.add(selected_vm)
+        spare_vms = [one for one in spare_vms if one.vm != selected_vm]
     return tuple(sorted(wanted))
 
 
