Rename chosen to selected_vm

The variable is the selected VM.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py chosen selected_vm

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -78,5 +78,7 @@
     """Return the spare VM whose zone holds the fewest seats."""
     zones = {one.vm: one.zone for one in view.present}
     occupied_zones = [zones.get(vm) for vm in voter_vms]
-    chosen = min(spare_vms, key=lambda one: (occupied_zones.count(one.zone), one.vm))
-    return chosen.vm
+    selected_vm = min(
+        spare_vms, key=lambda one: (occupied_zones.count(one.zone), one.vm)
+    )
+    return selected_vm.vm
