Rename wanted to voter_vms

The variable holds the VMs of voters.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py wanted voter_vms

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -64,12 +64,12 @@
     missing_count = view.size - len(view.wanted)
     if len(spare_vms) < missing_count:
         return None
-    wanted = set(view.wanted)
+    voter_vms = set(view.wanted)
     for _ in range(missing_count):
-        selected_vm = _select_spare_vm(view, spare_vms, wanted)
-        wanted.add(selected_vm)
+        selected_vm = _select_spare_vm(view, spare_vms, voter_vms)
+        voter_vms.add(selected_vm)
         spare_vms = [one for one in spare_vms if one.vm != selected_vm]
-    return tuple(sorted(wanted))
+    return tuple(sorted(voter_vms))
 
 
 def _select_spare_vm(
