Follow the renames where the type is lost

Cause: rename.py follows neither all keyword arguments nor names inside comprehensions and untyped tests, so some uses of the names renamed before still had the old ones. Change: these uses follow. Result: mypy and the tests of libs/agreement pass.

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -71,7 +71,7 @@
     core.incoming_snapshot = None
     is_in_log = core.log.term_at(snapshot.log_index) == snapshot.term
     if is_in_log:
-        core.log.compact(snapshot, keep=0)
+        core.log.compact(snapshot, keep_entries=0)
     else:
         core.log.reset(snapshot)
         core.synced_index = snapshot.log_index
@@ -108,7 +108,7 @@
 ) -> None:
     reply = AppendReply(
         message.cluster,
-        core.me,
+        core.replica_id,
         message.sender,
         core.term,
         is_matched,
@@ -123,7 +123,7 @@
 ) -> None:
     reply = SnapshotReply(
         message.cluster,
-        core.me,
+        core.replica_id,
         message.sender,
         core.term,
         message.log_index,
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -121,7 +121,7 @@
         """Return until when no other leader can exist, by the leader's clock."""
         own_id = self.settings.replica
         acknowledged_times = [
-            now if voter == own_id else self.progress[voter].confirmed
+            now if voter == own_id else self.progress[voter].acknowledged_sent_at
             for voter in configuration.voters
         ]
         lease_duration = self.settings.election_timeout_s * self.settings.lease_share
@@ -151,7 +151,7 @@
         recent_members = {
             member
             for member, progress in self.progress.items()
-            if progress.heard_at > contact_cutoff
+            if progress.last_contact_at > contact_cutoff
         }
         return frozenset(recent_members | {self.settings.replica})
 
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -30,7 +30,7 @@
     """Begin to lead: an entry of the own term first."""
     core.election = None
     core.leadership = LeaderState(core.settings, core.log, core.clock, core.now)
-    core.set_role(Role.LEADER, core.me)
+    core.set_role(Role.LEADER, core.replica_id)
     append_entry(core, EntryKind.EMPTY)
     broadcast(core)
 
@@ -54,7 +54,7 @@
     """Put bytes into the log, or refuse before they enter it."""
     problem = _proposal_problem(core, leadership, data)
     if problem is not None:
-        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
     index = append_entry(core, EntryKind.DATA, data=data)
     leadership.pending_proposals[index] = token
@@ -65,10 +65,12 @@
     """Answer a read at once under the lease, else after a round."""
     if core.commit < leadership.first_index:
         problem = Problem("not-ready", "the leader has not committed an entry yet")
-        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
     if leadership.lease_expires_at(core.log.configuration, core.now) > core.now:
-        core.actions.append(Reply(token, Outcome.CURRENT, core.commit, None, core.me))
+        core.actions.append(
+            Reply(token, Outcome.CURRENT, core.commit, None, core.replica_id)
+        )
         return
     leadership.pending_reads.append(PendingRead(token, leadership.round + 1))
     broadcast(core)
@@ -92,7 +94,7 @@
     elif not has_live_quorum(new_configuration, leadership.live_members(core.clock)):
         problem = Problem("membership-quorum", "too few of the voters answer")
     if problem is not None:
-        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
     index = append_entry(core, EntryKind.CONFIGURATION, configuration=new_configuration)
     leadership.pending_proposals[index] = token
@@ -200,12 +202,14 @@
         return
     core.commit_up_to(quorum_index)
     if core.log.configuration_index <= quorum_index:
-        if core.me not in core.log.configuration.voters:
+        if core.replica_id not in core.log.configuration.voters:
             core.step_down("it is no longer a voter")
             core.set_role(core.passive_role(), None)
             return
     for member, progress in leadership.progress.items():
-        needs_commit_index = progress.sent_commit_index < core.commit <= progress.match
+        needs_commit_index = (
+            progress.sent_commit_index < core.commit <= progress.match_index
+        )
         if needs_commit_index:
             send_next_message(core, leadership, member, progress)
 
@@ -217,12 +221,12 @@
     quorum_round = leadership.quorum_round(core.log.configuration)
     pending_reads = leadership.pending_reads
     leadership.pending_reads = [
-        read for read in pending_reads if answer_read.round > quorum_round
+        read for read in pending_reads if read.round > quorum_round
     ]
     for pending_read in pending_reads:
         if pending_read.round <= quorum_round:
             reply = Reply(
-                pending_read.token, Outcome.CURRENT, core.commit, None, core.me
+                pending_read.token, Outcome.CURRENT, core.commit, None, core.replica_id
             )
             core.actions.append(reply)
 
@@ -253,11 +257,11 @@
     caught_up = frozenset(
         learner
         for learner in configuration.learners
-        if leadership.progress[learner].match >= core.commit
+        if leadership.progress[learner].match_index >= core.commit
     )
     live_members = leadership.live_members(core.clock)
     join_requests = leadership.recent_join_requests(core.clock)
-    view = MembershipView(core.me, join_requests, live_members, caught_up)
+    view = MembershipView(core.replica_id, join_requests, live_members, caught_up)
     next_step = next_configuration(configuration, view)
     if next_step is not None:
         append_entry(core, EntryKind.CONFIGURATION, configuration=next_step)
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -100,7 +100,9 @@
             has_lease = leadership.lease_expires_at(configuration, core.now) > core.now
             member_progress = leadership.progress.values()
             lagging_members = [
-                progress for progress in member_progress if one.match < core.commit
+                progress
+                for progress in member_progress
+                if progress.match_index < core.commit
             ]
             is_whole = is_whole and not lagging_members
         return ReplicaStatus(
@@ -128,7 +130,9 @@
             return
         configuration = core.log.configuration
         is_election_due = core.clock >= core.election_deadline
-        is_sole_voter = configuration.voters == (core.me,) and core.election is None
+        is_sole_voter = (
+            configuration.voters == (core.replica_id,) and core.election is None
+        )
         if core.can_start_election and (is_election_due or is_sole_voter):
             voting.start_pre_vote(core)
         if self._should_request_join() and core.clock >= core.next_join_request_at:
@@ -193,7 +197,9 @@
         message = event.message
         if isinstance(message, JoinRequest):
             self._handle_message(message)
-        elif message.to == self.core.me and self.core.accepts_cluster(message.cluster):
+        elif message.to == self.core.replica_id and self.core.accepts_cluster(
+            message.cluster
+        ):
             self._handle_message(message)
 
     @singledispatchmethod
@@ -242,7 +248,7 @@
         else:
             log_decision(
                 "agreement-other-cluster",
-                replica=self.core.me,
+                replica=self.core.replica_id,
                 cluster=self.core.cluster,
                 sender=message.sender,
                 other=message.cluster,
@@ -285,7 +291,7 @@
         core = self.core
         core.next_join_request_at = core.clock + core.settings.join_period_s
         for vm in core.settings.peers:
-            core.send(JoinRequest(core.cluster, core.me), vm)
+            core.send(JoinRequest(core.cluster, core.replica_id), vm)
 
     def _refuse(self, event: Event, code: str, detail: str) -> None:
         if isinstance(event, Propose | Read | ChangeMembership):
--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -29,7 +29,7 @@
     progress.sent_commit_index = core.commit
     message = AppendRequest(
         core.cluster,
-        core.me,
+        core.replica_id,
         member,
         core.term,
         previous_index,
@@ -54,7 +54,7 @@
     offset = progress.received_bytes
     message = SnapshotChunk(
         core.cluster,
-        core.me,
+        core.replica_id,
         member,
         core.term,
         snapshot.log_index,
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -16,9 +16,9 @@
     """Ask the voters whether they would vote for this replica."""
     core.schedule_elections()
     core.set_role(Role.CANDIDATE, None)
-    election = Election(core.term + 1, is_trial=True)
+    election = Election(core.term + 1, is_pre_vote=True)
     core.election = election
-    election.granted_by.add(core.me)
+    election.granted_by.add(core.replica_id)
     if election.is_won(core.log.configuration):
         _start_election(core)
         return
@@ -80,9 +80,13 @@
 def count_own_vote(core: ReplicaCore) -> None:
     """Count the own vote once it is on the disk."""
     election = core.election
-    if election is None or election.is_pre_vote or core.me in election.granted_by:
+    if (
+        election is None
+        or election.is_pre_vote
+        or core.replica_id in election.granted_by
+    ):
         return
-    election.granted_by.add(core.me)
+    election.granted_by.add(core.replica_id)
     if election.is_won(core.log.configuration):
         become_leader(core)
 
@@ -106,18 +110,20 @@
         if progress is None or voter not in live_members:
             continue
         if progress.match_index >= core.log.last_index:
-            log_decision("agreement-hand-over", replica=core.me, to=voter)
-            core.send(StandNow(core.cluster, core.me, voter, core.term), voter.vm)
+            log_decision("agreement-hand-over", replica=core.replica_id, to=voter)
+            core.send(
+                StandNow(core.cluster, core.replica_id, voter, core.term), voter.vm
+            )
             return
 
 
 def _start_election(core: ReplicaCore, *, is_leadership_transfer: bool = False) -> None:
     term = core.term + 1
-    log_decision("agreement-stand", replica=core.me, term=term)
-    core.vote_record = VoteRecord(term, core.me)
+    log_decision("agreement-stand", replica=core.replica_id, term=term)
+    core.vote_record = VoteRecord(term, core.replica_id)
     core.persist(vote=core.vote_record)
     core.election_deadline = max(core.election_deadline, core.election_retry_at)
-    election = Election(term, is_trial=False)
+    election = Election(term, is_pre_vote=False)
     core.election = election
     last_persist = next(reversed(core.pending_persists.values()))
     last_persist.deferred_actions.extend(
@@ -128,13 +134,15 @@
 def _vote_requests(
     core: ReplicaCore, election: Election, *, is_leadership_transfer: bool = False
 ) -> list[Send]:
-    voters = [voter for voter in core.log.configuration.voters if voter != core.me]
+    voters = [
+        voter for voter in core.log.configuration.voters if voter != core.replica_id
+    ]
     return [
         Send(
             voter.vm,
             VoteRequest(
                 core.cluster,
-                core.me,
+                core.replica_id,
                 voter,
                 election.term,
                 core.log.last_index,
@@ -163,7 +171,7 @@
         return False
     own_position = (core.log.last_term, core.log.last_index)
     is_equal_position = (message.last_term, message.last_index) == own_position
-    return is_equal_position and core.me < message.sender
+    return is_equal_position and core.replica_id < message.sender
 
 
 def _is_sender_log_up_to_date(core: ReplicaCore, message: VoteRequest) -> bool:
@@ -176,7 +184,7 @@
 ) -> None:
     reply = VoteReply(
         message.cluster,
-        core.me,
+        core.replica_id,
         message.sender,
         message.term if is_granted else core.term,
         message.is_pre_vote,
--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -29,14 +29,14 @@
 @pytest.mark.parametrize("index", [0, 5])
 def test_gaps_and_the_snapshot_are_invariants(index):
     held = log(1, 1, 1)
-    held.compact(Snapshot(2, 1, FIRST, b""), keep=0)
+    held.compact(Snapshot(2, 1, FIRST, b""), keep_entries=0)
     with pytest.raises(AssertionError):
         held.append((entry(index, 2),))
 
 
 def test_compaction_keeps_a_few_entries_for_slow_followers():
     held = log(1, 1, 2, 2, 3)
-    held.compact(Snapshot(4, 2, FIRST, b""), keep=2)
+    held.compact(Snapshot(4, 2, FIRST, b""), keep_entries=2)
     assert (held.base_index, held.base_term, held.last_index) == (2, 1, 5)
     assert [held.term_at(index) for index in range(1, 7)] == [None, 1, 2, 2, 3, None]
 
@@ -50,8 +50,8 @@
 
 def test_a_batch_has_at_least_one_entry():
     held = log(1, 1, 1)
-    assert len(held.batch(1, 3, size_bytes=1)) == 1
-    assert len(held.batch(1, 3, size_bytes=10)) == 2
+    assert len(held.batch(1, 3, max_bytes=1)) == 1
+    assert len(held.batch(1, 3, max_bytes=10)) == 2
 
 
 def test_a_hint_skips_a_whole_term():
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -102,7 +102,9 @@
         core = self.replica.core
         number = core.leadership.round if round is None else round
         last = core.log.last_index if index is None else index
-        reply = AppendReply("lab", who, core.me, core.term, matched, last, number)
+        reply = AppendReply(
+            "lab", who, core.replica_id, core.term, matched, last, number
+        )
         return self.give(Received(reply))
 
 
@@ -559,14 +561,18 @@
     assert driver.give(Received(StandNow("lab", A, B, 2))) == []
 
 
-@pytest.mark.parametrize("is_handover", [False, True])
-def test_a_vote_against_a_live_leader_is_given_only_at_a_handover(is_handover):
+@pytest.mark.parametrize("is_leadership_transfer", [False, True])
+def test_a_vote_against_a_live_leader_is_given_only_at_a_handover(
+    is_leadership_transfer,
+):
     voter = Driver(me=C, restored=state(term=2))
     voter.give(Received(append(sender=A, to=C)))
-    request = ask_vote(term=3, sender=B, to=C)._replace(is_handover=is_handover)
+    request = ask_vote(term=3, sender=B, to=C)._replace(
+        is_leadership_transfer=is_leadership_transfer
+    )
     voter.give(Received(request))
     voter.sync()
-    assert voter.sent(VoteReply)[-1].is_granted == is_handover
+    assert voter.sent(VoteReply)[-1].is_granted == is_leadership_transfer
 
 
 def test_a_replica_without_leases_stands_soon_after_its_start():
