Rename leadership to leader_state

The parameter is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/voting.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -102,11 +102,11 @@
         _start_election(core, is_leadership_transfer=True)
 
 
-def transfer_leadership(core: ReplicaCore, leadership: LeaderState) -> None:
+def transfer_leadership(core: ReplicaCore, leader_state: LeaderState) -> None:
     """Ask a voter that holds the whole log to lead instead, if there is one."""
-    live_members = leadership.live_members(core.clock)
+    live_members = leader_state.live_members(core.clock)
     for voter in core.log.configuration.voters:
-        progress = leadership.progress.get(voter)
+        progress = leader_state.progress.get(voter)
         if progress is None or voter not in live_members:
             continue
         if progress.match_index >= core.log.last_index:
