--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -10,13 +10,13 @@
 
 def send_next_message(
     core: ReplicaCore,
-    leadership: LeaderState,
+    leader_state: LeaderState,
     member: ReplicaId,
     progress: ReplicationProgress,
 ) -> None:
     """Send a member the entries or the part of a snapshot it needs next."""
     if progress.snapshot is not None or progress.next_index <= core.log.base_index:
-        _send_snapshot_chunk(core, leadership, member, progress)
+        _send_snapshot_chunk(core, leader_state, member, progress)
         return
     previous_index = progress.next_index - 1
     previous_term = core.log.term_at(previous_index)
@@ -36,7 +36,7 @@
         previous_term,
         entries,
         core.commit,
-        leadership.round,
+        leader_state.round,
     )
     core.send(message, member.vm)
 
