Rename leadership to leader_state

The parameter is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/sending.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/sending.py
+++ b/libs/agreement/src/kumquatmux_agreement/sending.py
@@ -43,7 +43,7 @@
 
 def _send_snapshot_chunk(
     core: ReplicaCore,
-    leadership: LeaderState,
+    leader_state: LeaderState,
     member: ReplicaId,
     progress: ReplicationProgress,
 ) -> None:
@@ -63,6 +63,6 @@
         offset,
         len(snapshot.data),
         snapshot.data[offset : offset + core.settings.chunk_bytes],
-        leadership.round,
+        leader_state.round,
     )
     core.send(message, member.vm)
