--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -49,16 +49,16 @@
 
 
 def propose(
-    core: ReplicaCore, leadership: LeaderState, data: bytes, token: str
+    core: ReplicaCore, leader_state: LeaderState, data: bytes, token: str
 ) -> None:
     """Put bytes into the log, or refuse before they enter it."""
-    problem = _proposal_problem(core, leadership, data)
+    problem = _proposal_problem(core, leader_state, data)
     if problem is not None:
         core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
     index = append_entry(core, EntryKind.DATA, data=data)
-    leadership.pending_proposals[index] = token
-    send_entries(core, leadership)
+    leader_state.pending_proposals[index] = token
+    send_entries(core, leader_state)
 
 
 def answer_read(core: ReplicaCore, leadership: LeaderState, token: str) -> None:
