--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -61,20 +61,20 @@
     send_entries(core, leader_state)
 
 
-def answer_read(core: ReplicaCore, leadership: LeaderState, token: str) -> None:
+def answer_read(core: ReplicaCore, leader_state: LeaderState, token: str) -> None:
     """Answer a read at once under the lease, else after a round."""
-    if core.commit < leadership.first_index:
+    if core.commit < leader_state.first_index:
         problem = Problem("not-ready", "the leader has not committed an entry yet")
         core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
-    if leadership.lease_expires_at(core.log.configuration, core.now) > core.now:
+    if leader_state.lease_expires_at(core.log.configuration, core.now) > core.now:
         core.actions.append(
             Reply(token, Outcome.CURRENT, core.commit, None, core.replica_id)
         )
         return
-    leadership.pending_reads.append(PendingRead(token, leadership.round + 1))
+    leader_state.pending_reads.append(PendingRead(token, leader_state.round + 1))
     broadcast(core)
-    answer_confirmed_reads(core, leadership)
+    answer_confirmed_reads(core, leader_state)
 
 
 def change_membership(
