--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -78,7 +78,7 @@
 
 
 def change_membership(
-    core: ReplicaCore, leadership: LeaderState, vms: tuple[VmId, ...], token: str
+    core: ReplicaCore, leader_state: LeaderState, vms: tuple[VmId, ...], token: str
 ) -> None:
     """Put the wanted VMs into the log; the steps follow one at a time."""
     current_configuration = core.log.configuration
@@ -89,16 +89,16 @@
     ):
         detail = f"{len(vms)} control VMs named, 1, 3 or 5 different ones allowed"
         problem = Problem("membership-size", detail)
-    elif not _can_change_membership(core, leadership):
+    elif not _can_change_membership(core, leader_state):
         problem = Problem("membership-busy", "another membership change is under way")
-    elif not has_live_quorum(new_configuration, leadership.live_members(core.clock)):
+    elif not has_live_quorum(new_configuration, leader_state.live_members(core.clock)):
         problem = Problem("membership-quorum", "too few of the voters answer")
     if problem is not None:
         core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
     index = append_entry(core, EntryKind.CONFIGURATION, configuration=new_configuration)
-    leadership.pending_proposals[index] = token
-    send_entries(core, leadership)
+    leader_state.pending_proposals[index] = token
+    send_entries(core, leader_state)
 
 
 def tick(core: ReplicaCore, leadership: LeaderState) -> None:
