Rename leadership to leader_state

The parameter is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -101,11 +101,11 @@
     send_entries(core, leader_state)
 
 
-def tick(core: ReplicaCore, leadership: LeaderState) -> None:
+def tick(core: ReplicaCore, leader_state: LeaderState) -> None:
     """Step down without a quorum, send heartbeats, move membership on."""
-    live_members = leadership.live_members(core.clock)
+    live_members = leader_state.live_members(core.clock)
     is_in_grace_period = (
-        core.clock - leadership.leading_since < core.settings.election_timeout_s
+        core.clock - leader_state.leading_since < core.settings.election_timeout_s
     )
     if not is_in_grace_period and not has_live_quorum(
         core.log.configuration, live_members
@@ -113,10 +113,10 @@
         core.step_down("no quorum answers")
         core.set_role(core.passive_role(), None)
         return
-    if core.clock >= leadership.next_heartbeat_at:
+    if core.clock >= leader_state.next_heartbeat_at:
         broadcast(core)
-    if _can_change_membership(core, leadership):
-        _advance_membership(core, leadership)
+    if _can_change_membership(core, leader_state):
+        _advance_membership(core, leader_state)
 
 
 def broadcast(core: ReplicaCore) -> None:
