Rename leadership to leader_state

The parameter is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -133,16 +133,16 @@
         send_next_message(core, leadership, member, progress)
 
 
-def send_entries(core: ReplicaCore, leadership: LeaderState) -> None:
+def send_entries(core: ReplicaCore, leader_state: LeaderState) -> None:
     """Send members the entries they lack, as far as the window allows."""
-    for member, progress in leadership.progress.items():
+    for member, progress in leader_state.progress.items():
         has_unsent_entries = progress.next_index <= core.log.last_index
         if (
             has_unsent_entries
             and progress.snapshot is None
             and _has_window_space(core, progress)
         ):
-            send_next_message(core, leadership, member, progress)
+            send_next_message(core, leader_state, member, progress)
 
 
 def handle_append_reply(core: ReplicaCore, message: AppendReply) -> None:
