--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -214,13 +214,13 @@
             send_next_message(core, leadership, member, progress)
 
 
-def answer_confirmed_reads(core: ReplicaCore, leadership: LeaderState) -> None:
+def answer_confirmed_reads(core: ReplicaCore, leader_state: LeaderState) -> None:
     """Answer the reads whose round a quorum has answered."""
-    if not leadership.pending_reads:
+    if not leader_state.pending_reads:
         return
-    quorum_round = leadership.quorum_round(core.log.configuration)
-    pending_reads = leadership.pending_reads
-    leadership.pending_reads = [
+    quorum_round = leader_state.quorum_round(core.log.configuration)
+    pending_reads = leader_state.pending_reads
+    leader_state.pending_reads = [
         read for read in pending_reads if read.round > quorum_round
     ]
     for pending_read in pending_reads:
