--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -232,7 +232,7 @@
 
 
 def _proposal_problem(
-    core: ReplicaCore, leadership: LeaderState, data: bytes
+    core: ReplicaCore, leader_state: LeaderState, data: bytes
 ) -> Problem | None:
     if not core.log.configuration.is_ready:
         voter_count = len(core.log.configuration.voters)
@@ -242,7 +242,7 @@
         )
     if len(data) > core.settings.entry_bytes:
         return Problem("entry-too-long", f"an entry of {len(data)} bytes")
-    if len(leadership.pending_proposals) >= core.settings.pending_entries:
+    if len(leader_state.pending_proposals) >= core.settings.pending_entries:
         return Problem("too-many-pending", "too many entries wait to be committed")
     return None
 
