Rename leadership to leader_state

The parameter is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -247,8 +247,8 @@
     return None
 
 
-def _can_change_membership(core: ReplicaCore, leadership: LeaderState) -> bool:
-    has_committed_in_term = core.commit >= leadership.first_index
+def _can_change_membership(core: ReplicaCore, leader_state: LeaderState) -> bool:
+    has_committed_in_term = core.commit >= leader_state.first_index
     return has_committed_in_term and core.commit >= core.log.configuration_index
 
 
