Rename leadership to leader_state

The parameter is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -252,15 +252,15 @@
     return has_committed_in_term and core.commit >= core.log.configuration_index
 
 
-def _advance_membership(core: ReplicaCore, leadership: LeaderState) -> None:
+def _advance_membership(core: ReplicaCore, leader_state: LeaderState) -> None:
     configuration = core.log.configuration
     caught_up = frozenset(
         learner
         for learner in configuration.learners
-        if leadership.progress[learner].match_index >= core.commit
+        if leader_state.progress[learner].match_index >= core.commit
     )
-    live_members = leadership.live_members(core.clock)
-    join_requests = leadership.recent_join_requests(core.clock)
+    live_members = leader_state.live_members(core.clock)
+    join_requests = leader_state.recent_join_requests(core.clock)
     view = MembershipView(core.replica_id, join_requests, live_members, caught_up)
     next_step = next_configuration(configuration, view)
     if next_step is not None:
