Rename leadership to leader_state

The variable is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -121,16 +121,16 @@
 
 def broadcast(core: ReplicaCore) -> None:
     """Begin a round and send every member what it lacks, or a heartbeat."""
-    leadership = core.leadership
-    if leadership is None:
+    leader_state = core.leadership
+    if leader_state is None:
         return
-    leadership.begin_round(core.now)
-    leadership.next_heartbeat_at = core.clock + core.settings.heartbeat_s
-    for member, progress in leadership.progress.items():
+    leader_state.begin_round(core.now)
+    leader_state.next_heartbeat_at = core.clock + core.settings.heartbeat_s
+    for member, progress in leader_state.progress.items():
         progress.next_index = max(
             progress.match_index + 1, min(progress.next_index, _resend_index(progress))
         )
-        send_next_message(core, leadership, member, progress)
+        send_next_message(core, leader_state, member, progress)
 
 
 def send_entries(core: ReplicaCore, leader_state: LeaderState) -> None:
