Rename leadership to leader_state

The variable is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -147,11 +147,11 @@
 
 def handle_append_reply(core: ReplicaCore, message: AppendReply) -> None:
     """Take an acknowledgement."""
-    leadership = core.leadership
-    if leadership is None or message.term != core.term:
+    leader_state = core.leadership
+    if leader_state is None or message.term != core.term:
         return
     sender = message.sender
-    progress = leadership.record_reply(sender, message.round, core.clock)
+    progress = leader_state.record_reply(sender, message.round, core.clock)
     if progress is None:
         return
     if message.is_matched:
@@ -164,13 +164,13 @@
         if message.round >= progress.acknowledged_round:
             _lower_match_index(progress, sender, retry_index)
         progress.next_index = max(progress.match_index + 1, retry_index)
-        send_next_message(core, leadership, sender, progress)
-    if core.leadership is not leadership:
+        send_next_message(core, leader_state, sender, progress)
+    if core.leadership is not leader_state:
         return
-    answer_confirmed_reads(core, leadership)
+    answer_confirmed_reads(core, leader_state)
     has_unsent_entries = progress.next_index <= core.log.last_index
     if message.is_matched and has_unsent_entries and _has_window_space(core, progress):
-        send_next_message(core, leadership, sender, progress)
+        send_next_message(core, leader_state, sender, progress)
 
 
 def handle_snapshot_reply(core: ReplicaCore, message: SnapshotReply) -> None:
