Rename leadership to leader_state

The variable is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -175,19 +175,19 @@
 
 def handle_snapshot_reply(core: ReplicaCore, message: SnapshotReply) -> None:
     """Send the next part of a snapshot."""
-    leadership = core.leadership
-    if leadership is None or message.term != core.term:
+    leader_state = core.leadership
+    if leader_state is None or message.term != core.term:
         return
-    progress = leadership.record_reply(message.sender, message.round, core.clock)
+    progress = leader_state.record_reply(message.sender, message.round, core.clock)
     if progress is None or progress.snapshot is None:
         return
     if progress.snapshot.log_index != message.log_index:
         return
     has_progressed = message.received_bytes != progress.received_bytes
     progress.received_bytes = message.received_bytes
-    answer_confirmed_reads(core, leadership)
+    answer_confirmed_reads(core, leader_state)
     if has_progressed:
-        send_next_message(core, leadership, message.sender, progress)
+        send_next_message(core, leader_state, message.sender, progress)
 
 
 def advance_commit(core: ReplicaCore) -> None:
