Rename leadership to leader_state

The variable is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -192,10 +192,10 @@
 
 def advance_commit(core: ReplicaCore) -> None:
     """Commit what a quorum has synced, if it is of the own term."""
-    leadership = core.leadership
-    if leadership is None:
+    leader_state = core.leadership
+    if leader_state is None:
         return
-    quorum_index = leadership.quorum_match_index(
+    quorum_index = leader_state.quorum_match_index(
         core.log.configuration, core.synced_index
     )
     if quorum_index <= core.commit or core.log.term_at(quorum_index) != core.term:
@@ -206,12 +206,12 @@
             core.step_down("it is no longer a voter")
             core.set_role(core.passive_role(), None)
             return
-    for member, progress in leadership.progress.items():
+    for member, progress in leader_state.progress.items():
         needs_commit_index = (
             progress.sent_commit_index < core.commit <= progress.match_index
         )
         if needs_commit_index:
-            send_next_message(core, leadership, member, progress)
+            send_next_message(core, leader_state, member, progress)
 
 
 def answer_confirmed_reads(core: ReplicaCore, leader_state: LeaderState) -> None:
