Rename leadership to leader_state

The variable is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/core.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -271,20 +271,20 @@
     def step_down(self, reason: str) -> None:
         """Give up leading or standing; answer what is owed."""
         self.election = None
-        leadership = self.leadership
+        leader_state = self.leadership
         self.leadership = None
-        if leadership is None:
+        if leader_state is None:
             return
         log_decision("agreement-step-down", replica=self.replica_id, reason=reason)
         unknown_problem = Problem(
             "outcome-unknown", f"the leader stepped down: {reason}"
         )
-        for token in leadership.pending_proposals.values():
+        for token in leader_state.pending_proposals.values():
             self.actions.append(
                 Reply(token, Outcome.UNKNOWN, 0, unknown_problem, self.leader)
             )
         not_leader_problem = Problem("not-leader", f"the leader stepped down: {reason}")
-        for read in leadership.pending_reads:
+        for read in leader_state.pending_reads:
             self.actions.append(
                 Reply(read.token, Outcome.REFUSED, 0, not_leader_problem)
             )
