--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -308,11 +308,11 @@
 
     def reply_to_committed(self, entries: tuple[Entry, ...]) -> None:
         """Answer the proposals that these entries carry out."""
-        leadership = self.leadership
-        if leadership is None:
+        leader_state = self.leadership
+        if leader_state is None:
             return
         for entry in entries:
-            token = leadership.pending_proposals.pop(entry.log_index, None)
+            token = leader_state.pending_proposals.pop(entry.log_index, None)
             if token is not None:
                 reply = Reply(
                     token, Outcome.COMMITTED, entry.log_index, None, self.replica_id
