--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -87,7 +87,7 @@
         """Return what operators see."""
         core = self.core
         configuration = core.log.configuration
-        leadership = core.leadership
+        leader_state = core.leadership
         voting_vms = sorted(voter.vm for voter in configuration.voters)
         is_configuration_committed = core.commit >= core.log.configuration_index
         is_whole = is_configuration_committed and voting_vms == sorted(
@@ -95,10 +95,12 @@
         )
         live_members: tuple[ReplicaId, ...] = ()
         has_lease = False
-        if leadership is not None:
-            live_members = tuple(sorted(leadership.live_members(core.clock)))
-            has_lease = leadership.lease_expires_at(configuration, core.now) > core.now
-            member_progress = leadership.progress.values()
+        if leader_state is not None:
+            live_members = tuple(sorted(leader_state.live_members(core.clock)))
+            has_lease = (
+                leader_state.lease_expires_at(configuration, core.now) > core.now
+            )
+            member_progress = leader_state.progress.values()
             lagging_members = [
                 progress
                 for progress in member_progress
