--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -156,11 +156,11 @@
 
     @_handle_event.register
     def _(self, event: ChangeMembership) -> None:
-        leadership = self.core.leadership
-        if leadership is None:
+        leader_state = self.core.leadership
+        if leader_state is None:
             self._refuse(event, "not-leader", "this replica does not lead")
             return
-        leading.change_membership(self.core, leadership, event.vms, event.token)
+        leading.change_membership(self.core, leader_state, event.vms, event.token)
 
     @_handle_event.register
     def _(self, event: HandOver) -> None:
