Rename leadership to leader_state

The variable is a LeaderState.

Rename: libs/agreement/src/kumquatmux_agreement/replica.py leadership leader_state

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -242,11 +242,11 @@
 
     @_handle_message.register
     def _(self, message: JoinRequest) -> None:
-        leadership = self.core.leadership
-        if leadership is None:
+        leader_state = self.core.leadership
+        if leader_state is None:
             return
         if message.cluster in (self.core.cluster, self.core.settings.cluster):
-            leadership.join_requests[message.sender] = self.core.clock
+            leader_state.join_requests[message.sender] = self.core.clock
         else:
             log_decision(
                 "agreement-other-cluster",
