--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -265,10 +265,10 @@
     def _entries_to_keep(self, snapshot_index: int) -> int:
         """Keep what a member needs next that is still receiving a snapshot."""
         settings = self.core.settings
-        leadership = self.core.leadership
+        leader_state = self.core.leadership
         oldest_snapshot_index = (
-            leadership.oldest_sent_snapshot_index(self.core.clock)
-            if leadership
+            leader_state.oldest_sent_snapshot_index(self.core.clock)
+            if leader_state
             else None
         )
         if oldest_snapshot_index is None:
