Rename entry_bytes to max_entry_bytes

The field is a maximum.

Rename: libs/agreement/src/kumquatmux_agreement/settings.py entry_bytes max_entry_bytes

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -240,7 +240,7 @@
         return Problem(
             "too-few-voters", f"{voter_count} of {wanted_count} control VMs vote"
         )
-    if len(data) > core.settings.entry_bytes:
+    if len(data) > core.settings.max_entry_bytes:
         return Problem("entry-too-long", f"an entry of {len(data)} bytes")
     if len(leader_state.pending_proposals) >= core.settings.pending_entries:
         return Problem("too-many-pending", "too many entries wait to be committed")
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -50,5 +50,5 @@
     batch_bytes: int = 262_144
     window_entries: int = 256
     chunk_bytes: int = 262_144
-    entry_bytes: int = 1_048_576
+    max_entry_bytes: int = 1_048_576
     pending_entries: int = 256
