--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -242,7 +242,7 @@
         )
     if len(data) > core.settings.max_entry_bytes:
         return Problem("entry-too-long", f"an entry of {len(data)} bytes")
-    if len(leader_state.pending_proposals) >= core.settings.pending_entries:
+    if len(leader_state.pending_proposals) >= core.settings.max_pending_entries:
         return Problem("too-many-pending", "too many entries wait to be committed")
     return None
 
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -51,4 +51,4 @@
     window_entries: int = 256
     chunk_bytes: int = 262_144
     max_entry_bytes: int = 1_048_576
-    pending_entries: int = 256
+    max_pending_entries: int = 256
