Rename wanted to voter_vms

The field holds the VMs selected as voters.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py wanted voter_vms

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -31,7 +31,7 @@
     """
 
     leader: VmId
-    wanted: tuple[VmId, ...]
+    voter_vms: tuple[VmId, ...]
     present: tuple[Candidate, ...]
     gone: frozenset[VmId]
     size: int
@@ -48,23 +48,23 @@
     A seat moves only from a VM that is gone to one that is present, so that a
     short silence moves nothing while nobody waits for the seat.
     """
-    spare_vms = [one for one in view.present if one.vm not in view.wanted]
-    if len(view.wanted) < view.size:
+    spare_vms = [one for one in view.present if one.vm not in view.voter_vms]
+    if len(view.voter_vms) < view.size:
         return _add_voter_vms(view, spare_vms)
-    for vm in view.wanted:
+    for vm in view.voter_vms:
         if vm in view.gone and spare_vms:
-            selected_vm = _select_spare_vm(view, spare_vms, set(view.wanted) - {vm})
-            return tuple(sorted({*view.wanted, selected_vm} - {vm}))
+            selected_vm = _select_spare_vm(view, spare_vms, set(view.voter_vms) - {vm})
+            return tuple(sorted({*view.voter_vms, selected_vm} - {vm}))
     return None
 
 
 def _add_voter_vms(
     view: SeatsView, spare_vms: list[Candidate]
 ) -> tuple[VmId, ...] | None:
-    missing_count = view.size - len(view.wanted)
+    missing_count = view.size - len(view.voter_vms)
     if len(spare_vms) < missing_count:
         return None
-    voter_vms = set(view.wanted)
+    voter_vms = set(view.voter_vms)
     for _ in range(missing_count):
         selected_vm = _select_spare_vm(view, spare_vms, voter_vms)
         voter_vms.add(selected_vm)
