Rename present to reachable

The field holds reachable control VMs.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py present reachable

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -32,7 +32,7 @@
 
     leader: VmId
     voter_vms: tuple[VmId, ...]
-    present: tuple[Candidate, ...]
+    reachable: tuple[Candidate, ...]
     gone: frozenset[VmId]
     size: int
 
@@ -48,7 +48,7 @@
     A seat moves only from a VM that is gone to one that is present, so that a
     short silence moves nothing while nobody waits for the seat.
     """
-    spare_vms = [one for one in view.present if one.vm not in view.voter_vms]
+    spare_vms = [one for one in view.reachable if one.vm not in view.voter_vms]
     if len(view.voter_vms) < view.size:
         return _add_voter_vms(view, spare_vms)
     for vm in view.voter_vms:
@@ -76,7 +76,7 @@
     view: SeatsView, spare_vms: list[Candidate], voter_vms: set[VmId]
 ) -> VmId:
     """Return the spare VM whose zone holds the fewest seats."""
-    zones = {one.vm: one.zone for one in view.present}
+    zones = {one.vm: one.zone for one in view.reachable}
     occupied_zones = [zones.get(vm) for vm in voter_vms]
     selected_vm = min(
         spare_vms, key=lambda one: (occupied_zones.count(one.zone), one.vm)
