Rename gone to unreachable

The field holds unreachable VMs.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py gone unreachable

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -33,7 +33,7 @@
     leader: VmId
     voter_vms: tuple[VmId, ...]
     reachable: tuple[Candidate, ...]
-    gone: frozenset[VmId]
+    unreachable: frozenset[VmId]
     size: int
 
 
@@ -52,7 +52,7 @@
     if len(view.voter_vms) < view.size:
         return _add_voter_vms(view, spare_vms)
     for vm in view.voter_vms:
-        if vm in view.gone and spare_vms:
+        if vm in view.unreachable and spare_vms:
             selected_vm = _select_spare_vm(view, spare_vms, set(view.voter_vms) - {vm})
             return tuple(sorted({*view.voter_vms, selected_vm} - {vm}))
     return None
