--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -34,7 +34,7 @@
     voter_vms: tuple[VmId, ...]
     reachable: tuple[Candidate, ...]
     unreachable: frozenset[VmId]
-    size: int
+    voter_count: int
 
 
 def voters_for(losses: int) -> int:
@@ -49,7 +49,7 @@
     short silence moves nothing while nobody waits for the seat.
     """
     spare_vms = [one for one in view.reachable if one.vm not in view.voter_vms]
-    if len(view.voter_vms) < view.size:
+    if len(view.voter_vms) < view.voter_count:
         return _add_voter_vms(view, spare_vms)
     for vm in view.voter_vms:
         if vm in view.unreachable and spare_vms:
@@ -61,7 +61,7 @@
 def _add_voter_vms(
     view: SeatsView, spare_vms: list[Candidate]
 ) -> tuple[VmId, ...] | None:
-    missing_count = view.size - len(view.voter_vms)
+    missing_count = view.voter_count - len(view.voter_vms)
     if len(spare_vms) < missing_count:
         return None
     voter_vms = set(view.voter_vms)
