Rename losses to tolerated_losses

The parameter is the number of lost voters to survive.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py losses tolerated_losses

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -37,9 +37,9 @@
     voter_count: int
 
 
-def voters_for(losses: int) -> int:
+def voters_for(tolerated_losses: int) -> int:
     """Return how many voters outlive the loss of some of them."""
-    return 2 * losses + 1
+    return 2 * tolerated_losses + 1
 
 
 def next_wanted(view: SeatsView) -> tuple[VmId, ...] | None:
