Rename one to candidate

The variable is a candidate.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py one candidate

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -48,7 +48,9 @@
     A seat moves only from a VM that is gone to one that is present, so that a
     short silence moves nothing while nobody waits for the seat.
     """
-    spare_vms = [one for one in view.reachable if one.vm not in view.voter_vms]
+    spare_vms = [
+        candidate for candidate in view.reachable if one.vm not in view.voter_vms
+    ]
     if len(view.voter_vms) < view.voter_count:
         return _add_voter_vms(view, spare_vms)
     for vm in view.voter_vms:
