Rename one to candidate

The variable is a candidate.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py one candidate

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -70,7 +70,7 @@
     for _ in range(missing_count):
         selected_vm = _select_spare_vm(view, spare_vms, voter_vms)
         voter_vms.add(selected_vm)
-        spare_vms = [one for one in spare_vms if one.vm != selected_vm]
+        spare_vms = [candidate for candidate in spare_vms if one.vm != selected_vm]
     return tuple(sorted(voter_vms))
 
 
