Rename one to candidate

The variable is a candidate.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py one candidate

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -81,6 +81,7 @@
     zones = {one.vm: one.zone for one in view.reachable}
     occupied_zones = [zones.get(vm) for vm in voter_vms]
     selected_vm = min(
-        spare_vms, key=lambda one: (occupied_zones.count(one.zone), one.vm)
+        spare_vms,
+        key=lambda candidate: (occupied_zones.count(candidate.zone), candidate.vm),
     )
     return selected_vm.vm
