Rename one to candidate

The variable is a candidate.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py one candidate

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -78,7 +78,7 @@
     view: SeatsView, spare_vms: list[Candidate], voter_vms: set[VmId]
 ) -> VmId:
     """Return the spare VM whose zone holds the fewest seats."""
-    zones = {one.vm: one.zone for one in view.reachable}
+    zones = {candidate.vm: candidate.zone for candidate in view.reachable}
     occupied_zones = [zones.get(vm) for vm in voter_vms]
     selected_vm = min(
         spare_vms,
