--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -49,7 +49,7 @@
     short silence moves nothing while nobody waits for the seat.
     """
     spare_vms = [
-        candidate for candidate in view.reachable if one.vm not in view.voter_vms
+        candidate for candidate in view.reachable if candidate.vm not in view.voter_vms
     ]
     if len(view.voter_vms) < view.voter_count:
         return _add_voter_vms(view, spare_vms)
@@ -70,7 +70,9 @@
     for _ in range(missing_count):
         selected_vm = _select_spare_vm(view, spare_vms, voter_vms)
         voter_vms.add(selected_vm)
-        spare_vms = [candidate for candidate in spare_vms if one.vm != selected_vm]
+        spare_vms = [
+            candidate for candidate in spare_vms if candidate.vm != selected_vm
+        ]
     return tuple(sorted(voter_vms))
 
 
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -391,8 +391,8 @@
 @pytest.mark.parametrize(
     ("code", "settings", "event"),
     [
-        ("entry-too-long", {"entry_bytes": 3}, Propose(b"long", "t")),
-        ("too-many-pending", {"pending_entries": 0}, Propose(b"x", "t")),
+        ("entry-too-long", {"max_entry_bytes": 3}, Propose(b"long", "t")),
+        ("too-many-pending", {"max_pending_entries": 0}, Propose(b"x", "t")),
         ("membership-size", {}, ChangeMembership(("a", "b"), "t")),
         ("membership-size", {}, ChangeMembership(("a", "b", "b"), "t")),
     ],
