Rename sending to replication

The module replicates the log to the members.

Rename: libs/agreement/src/kumquatmux_agreement/leading.py sending replication

--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -20,7 +20,7 @@
     AppendReply,
     SnapshotReply,
 )
-from kumquatmux_agreement.sending import send_next_message
+from kumquatmux_agreement.replication import send_next_message
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_core.problems import Problem
