--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -134,7 +134,7 @@
 def _vote_requests(
     core: ReplicaCore, election: Election, *, is_leadership_transfer: bool = False
 ) -> list[Send]:
-    voters = [
+    other_voters = [
         voter for voter in core.log.configuration.voters if voter != core.replica_id
     ]
     return [
@@ -151,7 +151,7 @@
                 is_leadership_transfer,
             ),
         )
-        for voter in voters
+        for voter in other_voters
     ]
 
 
