--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -82,8 +82,8 @@
     """Return the spare VM whose zone holds the fewest seats."""
     zones = {candidate.vm: candidate.zone for candidate in view.reachable}
     occupied_zones = [zones.get(vm) for vm in voter_vms]
-    selected_vm = min(
+    selected = min(
         spare_vms,
         key=lambda candidate: (occupied_zones.count(candidate.zone), candidate.vm),
     )
-    return selected_vm.vm
+    return selected.vm
