Rename now to steady_now

The parameter is the time on the steady clock.

Rename: libs/agreement/src/kumquatmux_agreement/leader_state.py now steady_now

--- a/libs/agreement/src/kumquatmux_agreement/leader_state.py
+++ b/libs/agreement/src/kumquatmux_agreement/leader_state.py
@@ -76,7 +76,7 @@
         self.begin_round(now)
 
     def track_members(
-        self, configuration: Configuration, next_index: int, now: float
+        self, configuration: Configuration, next_index: int, steady_now: float
     ) -> None:
         """Keep progress for just the other members of a configuration."""
         other_members = [
@@ -88,7 +88,7 @@
             member: self.progress.get(member) for member in other_members
         }
         self.progress = {
-            member: progress or ReplicationProgress(next_index, now)
+            member: progress or ReplicationProgress(next_index, steady_now)
             for member, progress in progress_by_member.items()
         }
 
