Reword the data types of the agreement library

Cause: doc comments used phrases private to the project. Change: entries, events, messages, settings and status are described in the terms of Raft.

--- a/libs/agreement/src/kumquatmux_agreement/__init__.py
+++ b/libs/agreement/src/kumquatmux_agreement/__init__.py
@@ -1,4 +1,4 @@
-"""A replicated log as a pure state machine, for 1, 3 or 5 control VMs."""
+"""Raft log replication as a pure state machine, for 1, 3 or 5 control VMs."""
 
 from __future__ import annotations
 
--- a/libs/agreement/src/kumquatmux_agreement/entries.py
+++ b/libs/agreement/src/kumquatmux_agreement/entries.py
@@ -1,4 +1,4 @@
-"""What a replica keeps on its disk: entries, the vote record and the snapshot."""
+"""Persistent state of a replica: log entries, vote record and snapshot."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 
 
 class ReplicaId(NamedTuple):
-    """One data folder of one VM.
+    """Identity of a replica: one data folder on one VM.
 
-    A VM that lost its folder comes back with another folder name, and so as another
-    replica: votes and acknowledgements of the lost one are never counted for it.
+    A VM that lost its folder gets a new folder name and so a new identity. Votes and
+    acknowledgements of the lost replica are therefore not counted for the new one.
 
     Attributes:
-        vm: The VM the folder is on.
-        folder: Made at random when the folder was created.
+        vm: VM that has the folder.
+        folder: Random identifier assigned when the folder was created.
     """
 
     vm: VmId
@@ -28,14 +28,14 @@
 
 
 class Configuration(NamedTuple):
-    """Who takes part in the log.
+    """Members of the replicated log.
 
     Attributes:
-        vms: The control VMs as operators want them: 1, 3 or 5.
-        voters: Replicas that vote and whose synced copies count.
-        learners: Replicas that receive the log and do not count yet.
-        origin: Folder of the founder, which tells a cluster that was founded again
-            under the same name apart.
+        vms: Control VMs that should have a voter: 1, 3 or 5.
+        voters: Replicas that vote and whose persisted entries count for a quorum.
+        learners: Replicas that receive the log but do not count for a quorum yet.
+        origin: Folder of the cluster's founding replica. It tells clusters that were
+            founded under the same name at different times apart.
     """
 
     vms: tuple[VmId, ...]
@@ -50,22 +50,26 @@
 
     @property
     def quorum(self) -> int:
-        """How many voters must agree.
+        """Number of voters that must agree.
 
-        A majority of the voters, and while VMs are missing as many as a majority of
-        the wanted VMs, so that an accepted entry outlives any minority of them.
+        The larger of a majority of the voters and a majority of the wanted VMs, but at
+        most all voters. An accepted entry thus survives the loss of any minority of the
+        wanted VMs.
         """
         required_votes = min(len(self.voters), _majority(len(self.vms)))
         return max(_majority(len(self.voters)), required_votes)
 
     @property
     def is_ready(self) -> bool:
-        """Whether enough voters exist to accept entries."""
+        """Whether there are enough voters to accept entries."""
         return len(self.voters) >= _majority(len(self.vms))
 
 
 class EntryKind(IntEnum):
-    """What an entry of the log holds."""
+    """Kind of a log entry.
+
+    ``EMPTY`` is the first entry of a leader's term.
+    """
 
     EMPTY = 0
     DATA = 1
@@ -73,14 +77,14 @@
 
 
 class Entry(NamedTuple):
-    """One entry of the log.
+    """Entry of the log.
 
     Attributes:
-        log_index: Place in the log, from 1, without gaps.
-        term: Term of the leader that wrote it.
-        kind: What it holds.
-        data: Bytes of the embedding program, for ``DATA``.
-        configuration: The new configuration, for ``CONFIGURATION``.
+        log_index: Index in the log, starting at 1 without gaps.
+        term: Term of the leader that created the entry.
+        kind: Kind of the entry.
+        data: Application data, for ``DATA``.
+        configuration: New configuration, for ``CONFIGURATION``.
     """
 
     log_index: int
@@ -91,20 +95,25 @@
 
 
 class VoteRecord(NamedTuple):
-    """The term a replica is in and whom it voted for in it."""
+    """Current term of a replica and its vote in that term.
+
+    Attributes:
+        term: Current term.
+        voted_for: Candidate that got the replica's vote, or None.
+    """
 
     term: int = 0
     voted_for: ReplicaId | None = None
 
 
 class Snapshot(NamedTuple):
-    """The state of the embedding program after an entry, in place of the log up to it.
+    """Application state after an entry, which replaces the log up to that entry.
 
     Attributes:
-        log_index: Last entry it contains, 0 for none.
+        log_index: Last entry included, 0 for none.
         term: Term of that entry.
-        configuration: The configuration after that entry.
-        data: State of the embedding program, empty at index 0.
+        configuration: Configuration after that entry.
+        data: Serialized application state, empty at index 0.
     """
 
     log_index: int
@@ -114,12 +123,12 @@
 
 
 class DurableState(NamedTuple):
-    """All that a replica reads back after a restart.
+    """Persistent state that a replica loads at startup.
 
     Attributes:
-        vote: The vote record.
-        snapshot: The latest snapshot.
-        entries: The entries after the snapshot, without gaps.
+        vote: Term and vote.
+        snapshot: Latest snapshot.
+        entries: Entries after the snapshot, without gaps.
     """
 
     vote: VoteRecord
@@ -128,18 +137,18 @@
 
 
 def founding_state(founder: ReplicaId, vms: tuple[VmId, ...]) -> DurableState:
-    """Return the state of the one replica that founds a cluster.
+    """Return the initial state of the replica that founds a cluster.
 
     Args:
-        founder: The replica, the only voter until others join.
-        vms: All control VMs, the founder's included.
+        founder: Founding replica, the only voter until others join.
+        vms: All control VMs, including the founder's.
     """
     configuration = Configuration(vms, (founder,), (), founder.folder)
     return DurableState(VoteRecord(), Snapshot(0, 0, configuration, b""))
 
 
 def joining_state() -> DurableState:
-    """Return the state of a replica that waits to be let into a cluster."""
+    """Return the initial state of a replica that waits to join a cluster."""
     return DurableState(VoteRecord(), Snapshot(0, 0, Configuration((), ()), b""))
 
 
--- a/libs/agreement/src/kumquatmux_agreement/events.py
+++ b/libs/agreement/src/kumquatmux_agreement/events.py
@@ -1,4 +1,4 @@
-"""What a replica is told and what it asks for."""
+"""Events that a replica handles and actions that it requests."""
 
 from __future__ import annotations
 
@@ -12,33 +12,53 @@
 
 
 class Received(NamedTuple):
-    """A message from another replica arrived."""
+    """Event: a message from another replica has arrived.
+
+    Attributes:
+        message: Received message.
+    """
 
     message: Message
 
 
 class Tick(NamedTuple):
-    """Time has passed; due heartbeats and timeouts are looked at."""
+    """Event: time has passed; due heartbeats and timeouts are processed."""
 
 
 class Propose(NamedTuple):
-    """Put bytes into the log; answered by one ``Reply`` with the same token."""
+    """Event: a request to append data to the log, answered by one ``Reply``.
+
+    Attributes:
+        data: Data of the new entry.
+        token: Token that the reply repeats.
+    """
 
     data: bytes
     token: str
 
 
 class Read(NamedTuple):
-    """Ask whether the applied state is the latest; answered by one ``Reply``."""
+    """Event: a request to confirm that the applied state is the latest.
+
+    It is answered by one ``Reply``.
+
+    Attributes:
+        token: Token that the reply repeats.
+    """
 
     token: str
 
 
 class ChangeMembership(NamedTuple):
-    """Make these the control VMs; at most one joins and one goes at a time.
+    """Event: a request to replace the set of control VMs.
 
-    The reply comes when the wish is in the log. New VMs vote once they have joined
-    and caught up, which ``Replica.status`` shows.
+    It is answered by one ``Reply``, once the request is committed to the log. The
+    members are then changed one at a time: a new VM votes after it has joined and
+    caught up, which ``Replica.status`` shows.
+
+    Attributes:
+        vms: All control VMs that should have a voter.
+        token: Token that the reply repeats.
     """
 
     vms: tuple[VmId, ...]
@@ -46,46 +66,66 @@
 
 
 class HandOver(NamedTuple):
-    """The process is about to stop: a leader asks another voter to lead."""
+    """Event: the process is about to stop; a leader asks another voter to lead."""
 
 
 class Persisted(NamedTuple):
-    """A ``Persist`` has been synced. They are reported in the order of asking."""
+    """Event: a ``Persist`` action is durable; reported in the order of the actions.
+
+    Attributes:
+        number: Number of the ``Persist`` action.
+    """
 
     number: int
 
 
 class PersistFailed(NamedTuple):
-    """A ``Persist`` could not be synced; the replica takes no further part."""
+    """Event: a ``Persist`` action failed; the replica stops participating.
+
+    Attributes:
+        number: Number of the ``Persist`` action.
+        problem: Cause of the failure.
+    """
 
     number: int
     problem: Problem
 
 
 class SnapshotTaken(NamedTuple):
-    """The embedding program's state after an entry, asked for by ``TakeSnapshot``."""
+    """Event: the application state that a ``TakeSnapshot`` action requested.
+
+    Attributes:
+        log_index: Last entry included in the state.
+        data: Serialized application state.
+    """
 
     log_index: int
     data: bytes
 
 
 class Send(NamedTuple):
-    """Send a message to a VM; it may get lost, late or doubled."""
+    """Action: send a message to a VM; it may be lost, delayed or duplicated.
+
+    Attributes:
+        to: VM of the recipient.
+        message: Message to send.
+    """
 
     to: VmId
     message: Message
 
 
 class Persist(NamedTuple):
-    """Make all of this durable, in the order of asking, then tell ``Persisted``.
+    """Action: make state durable, in order of the actions, then report ``Persisted``.
 
     Attributes:
-        number: Echoed by ``Persisted``.
-        vote: The vote record to replace the former one, None if unchanged.
-        entries: Entries to append. An entry whose index is already in the log
-            replaces it and drops all that follow.
-        snapshot: Replaces the former one and the log up to it, None if unchanged.
-        keep_entries: With a snapshot: whether the entries after it stay.
+        number: Number that ``Persisted`` repeats.
+        vote: Vote record that replaces the stored one, or None if unchanged.
+        entries: Entries to append. An entry whose index is already in the stored log
+            replaces the stored one and drops all later ones.
+        snapshot: Snapshot that replaces the stored one and the log up to it, or None
+            if unchanged.
+        keep_entries: Whether the stored entries after the snapshot are kept.
     """
 
     number: int
@@ -96,31 +136,44 @@
 
 
 class Apply(NamedTuple):
-    """Committed entries that hold data, in order, to be run by the program.
+    """Action: apply committed data entries to the application state, in order.
 
-    An entry comes once in the life of a replica object, and again after a restart
-    if it is later than the snapshot.
+    Each entry is passed once during the lifetime of a replica object, and again after a
+    restart if it is later than the snapshot.
+
+    Attributes:
+        entries: Entries to apply.
     """
 
     entries: tuple[Entry, ...]
 
 
 class InstallSnapshot(NamedTuple):
-    """Replace the program's state by this snapshot."""
+    """Action: replace the application state by a snapshot.
+
+    Attributes:
+        snapshot: Snapshot to install.
+    """
 
     snapshot: Snapshot
 
 
 class TakeSnapshot(NamedTuple):
-    """Hand in the state after this entry, which is the last one applied."""
+    """Action: report the application state as a ``SnapshotTaken`` event.
+
+    Attributes:
+        log_index: Last entry applied, which the state must include.
+    """
 
     log_index: int
 
 
 class Outcome(StrEnum):
-    """What became of what was asked.
+    """Outcome of a request.
 
-    ``REFUSED`` is said only of what never entered any log.
+    ``COMMITTED`` answers a proposal or a membership change, ``CURRENT`` a read.
+    ``REFUSED`` means that the request was not appended to any log, ``UNKNOWN`` that it
+    was appended and may or may not be committed.
     """
 
     COMMITTED = "committed"
@@ -130,15 +183,15 @@
 
 
 class Reply(NamedTuple):
-    """The answer to ``Propose``, ``Read`` or ``ChangeMembership``.
+    """Action: answer a ``Propose``, ``Read`` or ``ChangeMembership`` request.
 
     Attributes:
-        token: The token of the question.
-        outcome: What became of it. A proposal that may have been lost is
-            ``UNKNOWN``.
-        log_index: The committed entry, or the applied one a read may use.
-        problem: Why it was refused or is unknown, else None.
-        leader: The leader if known, to ask instead.
+        token: Token of the request.
+        outcome: Outcome of the request.
+        log_index: Committed entry, or for a read the last committed entry, which must
+            be applied before the state is read.
+        problem: Why the request was refused or its outcome is unknown, else None.
+        leader: Leader to send the request to instead, or None if unknown.
     """
 
     token: str
@@ -149,7 +202,11 @@
 
 
 class Role(StrEnum):
-    """What a replica is at the moment."""
+    """Role of a replica.
+
+    An ``OUTSIDER`` is not in the configuration. A ``FAILED`` replica could not persist
+    its state and no longer participates.
+    """
 
     OUTSIDER = "outsider"
     LEARNER = "learner"
@@ -160,7 +217,13 @@
 
 
 class RoleChanged(NamedTuple):
-    """The replica has another role, term or leader."""
+    """Action: note that the replica's role or leader has changed.
+
+    Attributes:
+        role: New role.
+        term: Current term.
+        leader: Current leader, or None if unknown.
+    """
 
     role: Role
     term: int
--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -1,4 +1,4 @@
-"""Messages between replicas, and the registry that carries them."""
+"""Messages between replicas and their codec registry."""
 
 from __future__ import annotations
 
@@ -9,17 +9,17 @@
 
 
 class VoteRequest(NamedTuple):
-    """Ask for a vote, or whether it would be given.
+    """Request for a vote or a pre-vote.
 
     Attributes:
-        cluster: Name of the cluster the sender belongs to.
-        sender: The candidate.
-        to: Whom it is for.
-        term: Term the candidate stands in.
-        last_index: Last entry of its log.
+        cluster: Name of the sender's cluster.
+        sender: Candidate.
+        to: Replica that is asked.
+        term: Term of the election.
+        last_index: Index of the last entry in the candidate's log.
         last_term: Term of that entry.
-        is_trial: Whether this is the pre-vote, which binds nobody.
-        is_handover: Whether the leader asked the sender to stand in its place.
+        is_pre_vote: Whether this is a pre-vote, which does not bind the voter.
+        is_leadership_transfer: Whether the leader asked the candidate to replace it.
     """
 
     cluster: str
@@ -33,15 +33,15 @@
 
 
 class VoteReply(NamedTuple):
-    """The answer to a ``VoteRequest``.
+    """Reply to a ``VoteRequest``.
 
     Attributes:
         cluster: Name of the cluster.
-        sender: Who answers.
-        to: The candidate.
-        term: Term asked for if granted, else the sender's own.
-        is_trial: Whether it answers a pre-vote.
-        is_granted: Whether the vote is given.
+        sender: Replica that replies.
+        to: Candidate.
+        term: Term of the election if the vote is granted, else the sender's term.
+        is_pre_vote: Whether this is the reply to a pre-vote.
+        is_granted: Whether the vote is granted.
     """
 
     cluster: str
@@ -53,18 +53,18 @@
 
 
 class AppendRequest(NamedTuple):
-    """Entries from the leader; a heartbeat if there are none.
+    """Entries sent by the leader; without entries a heartbeat.
 
     Attributes:
         cluster: Name of the cluster.
-        sender: The leader.
-        to: Whom it is for.
-        term: The leader's term.
-        previous_index: Entry before the first one carried.
+        sender: Leader.
+        to: Recipient.
+        term: Leader's term.
+        previous_index: Index of the entry before ``entries``.
         previous_term: Term of that entry.
-        entries: The entries, in order.
-        commit: Highest entry known to be committed.
-        round: Number of the sending, echoed by the answer.
+        entries: Entries in log order.
+        commit_index: Last entry that the leader knows to be committed.
+        round: Number of the leader's current round, repeated in the reply.
     """
 
     cluster: str
@@ -79,17 +79,17 @@
 
 
 class AppendReply(NamedTuple):
-    """The answer to an ``AppendRequest`` or to the last chunk of a snapshot.
+    """Reply to an ``AppendRequest`` or to the last chunk of a snapshot.
 
     Attributes:
         cluster: Name of the cluster.
-        sender: Who answers.
-        to: The leader.
-        term: The sender's term.
-        is_matched: Whether the sender's log holds the entry before the first one.
-        log_index: Entry up to which the logs are equal and synced if matched, else
-            where the leader should try next.
-        round: The round answered.
+        sender: Replica that replies.
+        to: Leader.
+        term: Sender's term.
+        is_matched: Whether the sender's log contains the entry before the sent ones.
+        log_index: If matched, the last entry up to which the logs are equal and
+            persisted; otherwise the next entry that the leader should send.
+        round: Round of the request.
     """
 
     cluster: str
@@ -102,20 +102,20 @@
 
 
 class SnapshotChunk(NamedTuple):
-    """A part of the leader's snapshot.
+    """Chunk of the leader's snapshot.
 
     Attributes:
         cluster: Name of the cluster.
-        sender: The leader.
-        to: Whom it is for.
-        term: The leader's term.
-        log_index: Last entry the snapshot contains.
-        index_term: Term of that entry.
-        configuration: Configuration at that entry.
-        offset: Where this part begins, in bytes.
-        total: Length of the whole snapshot in bytes.
-        data: This part.
-        round: Number of the sending, echoed by the answer.
+        sender: Leader.
+        to: Recipient.
+        term: Leader's term.
+        log_index: Last entry included in the snapshot.
+        log_term: Term of that entry.
+        configuration: Configuration as of that entry.
+        offset: Position of the chunk in the snapshot, in bytes.
+        total_bytes: Size of the whole snapshot.
+        data: Content of the chunk.
+        round: Number of the leader's current round, repeated in the reply.
     """
 
     cluster: str
@@ -132,16 +132,16 @@
 
 
 class SnapshotReply(NamedTuple):
-    """How much of a snapshot has arrived.
+    """Reply to a ``SnapshotChunk`` while the snapshot is incomplete.
 
     Attributes:
         cluster: Name of the cluster.
-        sender: Who answers.
-        to: The leader.
-        term: The sender's term.
-        log_index: Last entry of the snapshot.
-        received: Bytes received without a gap.
-        round: The round answered.
+        sender: Replica that replies.
+        to: Leader.
+        term: Sender's term.
+        log_index: Last entry included in the snapshot.
+        received_bytes: Number of bytes received without a gap.
+        round: Round of the chunk.
     """
 
     cluster: str
@@ -154,11 +154,11 @@
 
 
 class JoinRequest(NamedTuple):
-    """A replica outside the configuration asks to be let in.
+    """Request of a replica outside the configuration to join the cluster.
 
     Attributes:
-        cluster: Name of the cluster, without an origin if the sender knows none yet.
-        sender: Who asks.
+        cluster: Name of the cluster, without the origin if the sender does not know it.
+        sender: Replica that asks to join.
     """
 
     cluster: str
@@ -166,13 +166,13 @@
 
 
 class StandNow(NamedTuple):
-    """A leader that stops asks a voter to stand for election at once.
+    """Request of a stopping leader that a voter start an election at once.
 
     Attributes:
         cluster: Name of the cluster.
-        sender: The leader.
-        to: The voter, whose log equals the leader's.
-        term: The leader's term.
+        sender: Leader.
+        to: Voter, whose log is equal to the leader's.
+        term: Leader's term.
     """
 
     cluster: str
@@ -202,6 +202,6 @@
     0x0307: JoinRequest,
     0x0308: StandNow,
 }
-"""Message types by kind, to be merged into the registry of a channel."""
+"""Message types by kind, for the codec registry of a channel."""
 
 MESSAGES = registry(MESSAGE_TYPES)
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -9,31 +9,33 @@
 
 
 class ReplicaSettings(NamedTuple):
-    """Who a replica is and how it keeps time.
+    """Identity, timing and limits of a replica.
 
     Attributes:
-        cluster: Name of the cluster; messages of another one are dropped, also of
-            one that was founded again under the same name.
-        replica: This replica.
-        peers: VMs to ask for admission while no leader is heard.
-        heartbeat_s: Seconds between heartbeats of a leader.
-        election_timeout_s: Seconds without a leader before an election, at least;
-            twice as long at most. Nobody votes within it of a leader's message.
-        start_timeout_s: Seconds after its start before a replica stands or votes, at
-            least; less than the election timeout only where no leader reads under
-            a lease, that is with a ``lease_share`` of 0.
-        lease_share: Share of the election timeout for which a leader reads without
-            asking; the rest covers clocks that run at different speeds.
-        clock_gap_s: Seconds between two events above which the clock counts as
-            having jumped or the process as having stood still.
-        join_period_s: Seconds between requests to join.
-        snapshot_entries: Entries applied after which the log is compacted.
-        keep_entries: Entries kept behind a snapshot for followers that are slow.
-        batch_bytes: Bytes of entries in one message, about.
-        window_entries: Entries sent ahead of a follower's acknowledgement.
-        chunk_bytes: Bytes of a snapshot in one message.
-        entry_bytes: Longest entry in bytes.
-        pending_entries: Entries not yet committed that a leader holds at most.
+        cluster: Name of the cluster. Messages of other clusters are dropped, including
+            those of a cluster that was founded again under the same name.
+        replica: Identity of this replica.
+        peers: VMs that get join requests while no leader is known.
+        heartbeat_s: Interval between a leader's heartbeats, in seconds.
+        election_timeout_s: Minimum time without a leader before an election, in
+            seconds; the maximum is twice as long. A replica does not vote within this
+            time of a message from a leader, except in a leadership transfer.
+        start_timeout_s: Minimum time after startup before a replica starts an election
+            or votes, in seconds. It may be less than the election timeout only if
+            leaders have no read lease, that is, with a ``lease_share`` of 0.
+        lease_share: Fraction of the election timeout for which a leader answers reads
+            without contacting a quorum. The rest is a margin for clock drift.
+        clock_gap_s: Maximum time between two events, in seconds. A longer one is
+            treated as a clock jump or a paused process.
+        join_period_s: Interval between join requests, in seconds.
+        snapshot_entries: Number of committed entries between two log compactions.
+        keep_entries: Number of entries retained before a snapshot for slow followers.
+        batch_bytes: Approximate maximum size of the entries in one message.
+        window_entries: Maximum number of entries sent ahead of a member's
+            acknowledgement.
+        chunk_bytes: Maximum size of the snapshot data in one message.
+        max_entry_bytes: Maximum size of an entry's data.
+        max_pending_entries: Maximum number of uncommitted proposals of a leader.
     """
 
     cluster: str
--- a/libs/agreement/src/kumquatmux_agreement/status.py
+++ b/libs/agreement/src/kumquatmux_agreement/status.py
@@ -1,4 +1,4 @@
-"""What operators see of a replica."""
+"""Status of a replica for operators."""
 
 from __future__ import annotations
 
@@ -10,20 +10,21 @@
 
 
 class ReplicaStatus(NamedTuple):
-    """What operators see of a replica.
+    """Status of a replica for operators.
 
     Attributes:
-        role: What it is.
-        term: The term it is in.
-        leader: The leader if known.
+        role: Current role.
+        term: Current term.
+        leader: Leader, or None if unknown.
         commit: Last entry known to be committed.
-        last_index: Last entry of its log.
-        snapshot_index: Last entry of its snapshot.
-        configuration: Who takes part.
-        live: Members that answered lately, if it leads.
-        has_lease: Whether it may answer reads alone.
-        is_whole: Whether every wanted VM votes by a committed configuration, and if
-            it leads, whether they hold all entries. Only then may another disk go.
+        last_index: Last entry of the log.
+        snapshot_index: Last entry included in the snapshot.
+        configuration: Latest configuration in the log.
+        live: Members that replied recently, if this replica is the leader.
+        has_lease: Whether the replica may answer reads without contacting a quorum.
+        is_whole: Whether every wanted VM has a voter in a committed configuration and,
+            if this replica is the leader, whether all members hold every committed
+            entry. Only then is it safe to lose another disk.
     """
 
     role: Role
@@ -39,11 +40,11 @@
 
     @property
     def voting_vms(self) -> frozenset[VmId]:
-        """VMs whose voters answered lately, if it leads."""
+        """VMs whose voters replied recently, if this replica is the leader."""
         voters = self.configuration.voters
         return frozenset(replica.vm for replica in self.live if replica in voters)
 
     @property
     def joining_vms(self) -> frozenset[VmId]:
-        """VMs that answered lately and do not vote yet, if it leads."""
+        """VMs with a recent reply but without a vote, if this replica is the leader."""
         return frozenset(replica.vm for replica in self.live) - self.voting_vms
