Reword the replica state and roles of the agreement library

Cause: doc comments and error details used phrases private to the project. Change: they name the operation and its reason in the terms of Raft.

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -1,4 +1,4 @@
-"""State of a replica and the steps that every role shares."""
+"""Replica state and operations that are common to all roles."""
 
 from __future__ import annotations
 
@@ -35,11 +35,11 @@
 
 
 class PendingPersist:
-    """A ``Persist`` that has not been confirmed.
+    """``Persist`` action that has not been confirmed.
 
     Attributes:
-        last_index: Entry up to which the log is synced once it is.
-        then: Actions that have to wait for it.
+        last_index: Last entry that is durable once the action is confirmed.
+        deferred_actions: Actions to request once the action is confirmed.
     """
 
     def __init__(self, last_index: int) -> None:
@@ -48,12 +48,12 @@
 
 
 class IncomingSnapshot:
-    """A snapshot that arrives in parts.
+    """Snapshot that is being received in chunks.
 
     Attributes:
-        log_index: Last entry it contains.
-        term: Term of the leader that sends it.
-        data: What has arrived without a gap.
+        log_index: Last entry included.
+        term: Term of the leader that sends the snapshot.
+        data: Bytes received so far, without a gap.
     """
 
     def __init__(self, log_index: int, term: int) -> None:
@@ -63,27 +63,35 @@
 
 
 class ReplicaCore:
-    """What a replica knows, whatever its role.
+    """Replica state that does not depend on the role.
+
+    The steady clock counts seconds since the start. It never goes back and advances by
+    at most ``clock_gap_s`` between two events.
 
     Attributes:
-        settings: Who it is and how it keeps time.
-        random: Source of election timeouts.
-        vote: Its term and vote.
-        log: Its log.
-        synced: Last entry known to be on its own disk.
+        settings: Identity, timing and limits of the replica.
+        random: Random source of election timeouts.
+        vote_record: Current term and vote.
+        log: Log in memory.
+        synced_index: Last entry known to be durable on this replica's disk.
         commit: Last entry known to be committed.
-        role: What it is at the moment.
-        leader: The leader it follows, if known.
-        leadership: What it keeps while it leads.
-        election: The votes it gathers as a candidate.
-        incoming: The snapshot that arrives.
-        now: The caller's clock, in seconds.
-        clock: Steady clock in seconds: it never goes back, and counts a gap
-            between two events as ``clock_gap_s`` at most.
-        heard_at: When a leader was heard last, on the steady clock.
-        election_at: When it stands for election, on the steady clock.
-        retry_at: When it stands again at the earliest if it does not win.
-        out: The actions of the event being handled.
+        role: Current role.
+        leader: Leader that the replica follows, or None if unknown.
+        leadership: Leader state, or None if the replica is not the leader.
+        election: Election in which the replica is the candidate, or None.
+        incoming_snapshot: Snapshot that is being received, or None.
+        failure: Problem that made the replica fail, or None.
+        now: Time of the latest event on the caller's clock, in seconds.
+        clock: Current time on the steady clock.
+        heard_at: Time of the last message from a leader, on the steady clock.
+        election_deadline: Time at which the next pre-vote starts, on the steady clock.
+        election_retry_at: Earliest time of a new pre-vote after an election is started,
+            on the steady clock.
+        next_join_request_at: Time of the next join request, on the steady clock.
+        last_snapshot_index: Last entry of the latest requested or installed snapshot.
+        last_persist_number: Number of the latest ``Persist`` action.
+        pending_persists: Unconfirmed ``Persist`` actions by number, in order.
+        actions: Actions requested by the event that is being handled.
     """
 
     def __init__(
@@ -105,7 +113,9 @@
         self.clock = 0.0
         start_timeout_s = settings.start_timeout_s
         if settings.lease_share and start_timeout_s < settings.election_timeout_s:
-            raise ValueError("a leader's lease needs the whole timeout at a start")
+            raise ValueError(
+                "a read lease requires start_timeout_s >= election_timeout_s"
+            )
         self.heard_at = start_timeout_s - settings.election_timeout_s
         self.next_join_request_at = 0.0
         self.schedule_elections()
@@ -117,23 +127,26 @@
 
     @property
     def replica_id(self) -> ReplicaId:
-        """The name of this replica."""
+        """Identity of this replica."""
         return self.settings.replica
 
     @property
     def term(self) -> int:
-        """The term it is in."""
+        """Current term."""
         return self.vote_record.term
 
     @property
     def cluster(self) -> str:
-        """The cluster's name with its origin, the bare name while that is unknown."""
+        """Cluster name with its origin, or without it while that is unknown."""
         origin = self.log.configuration.origin
         name = self.settings.cluster
         return f"{name}/{origin}" if origin else name
 
     def accepts_cluster(self, cluster: str) -> bool:
-        """Return whether a message's cluster may be this replica's own."""
+        """Return whether messages with this cluster name are accepted.
+
+        While the replica does not know its cluster's origin, it accepts any origin.
+        """
         if cluster == self.cluster:
             return True
         has_no_origin = not self.log.configuration.origin
@@ -141,9 +154,10 @@
 
     @property
     def can_start_election(self) -> bool:
-        """Whether it is a voter, or is until its removal is committed.
+        """Whether the replica is a voter in the latest or the committed configuration.
 
-        Others may need it to lead until then, because its log may be the longest.
+        A voter whose removal is not committed may still have to lead, because its log
+        may be the most complete one.
         """
         committed_configuration = self.log.configuration_at(self.commit)
         return (
@@ -152,15 +166,15 @@
         )
 
     def random_election_deadline(self) -> float:
-        """Return a random time at which to stand for election."""
+        """Return a random time for the next pre-vote."""
         election_timeout_s = self.settings.election_timeout_s
         return self.clock + election_timeout_s * (1 + self.random.random())
 
     def schedule_elections(self) -> None:
-        """Draw when to ask for votes on trial again, and when to stand again.
+        """Draw random times for the next pre-vote and for a retry after an election.
 
-        Asking binds nobody and may follow soon. Standing spoils a term for others, so
-        that candidates of one term must wait for different times.
+        A pre-vote does not bind voters and may be repeated soon. An election uses up
+        the votes of its term, so that its candidates must wait for different times.
         """
         timeout_factor = 1 + self.random.random()
         self.election_deadline = (
@@ -171,7 +185,11 @@
         )
 
     def advance_clock(self, now: float) -> None:
-        """Take the caller's clock; forget what a jump of it makes untrue."""
+        """Advance both clocks, and discard round send times after a clock jump.
+
+        Args:
+            now: Time on the caller's clock, in seconds.
+        """
         elapsed = now - self.now if math.isfinite(self.now) else 0.0
         self.now = now
         self.clock += min(max(elapsed, 0.0), self.settings.clock_gap_s)
@@ -180,7 +198,7 @@
             self.leadership.discard_send_times()
 
     def passive_role(self) -> Role:
-        """Return the role it has when it neither leads nor stands."""
+        """Return the role of this replica as neither leader nor candidate."""
         configuration = self.log.configuration
         if self.can_start_election:
             return Role.FOLLOWER
@@ -189,7 +207,7 @@
         return Role.OUTSIDER
 
     def set_role(self, role: Role, leader: ReplicaId | None) -> None:
-        """Change role or leader and tell about it."""
+        """Change the role or leader and report the change."""
         if (role, leader) == (self.role, self.leader):
             return
         self.role = role
@@ -204,11 +222,11 @@
         self.actions.append(RoleChanged(role, self.term, leader))
 
     def send(self, message: Message, to: VmId) -> None:
-        """Send a message at once."""
+        """Request that a message be sent at once."""
         self.actions.append(Send(to, message))
 
     def send_after_sync(self, message: Message, to: VmId) -> None:
-        """Send a message once all that was asked for is synced."""
+        """Request that a message be sent after all pending persists."""
         if self.pending_persists:
             last_persist = next(reversed(self.pending_persists.values()))
             last_persist.deferred_actions.append(Send(to, message))
@@ -223,7 +241,7 @@
         snapshot: Snapshot | None = None,
         keep_entries: bool = True,
     ) -> None:
-        """Ask for something to be made durable."""
+        """Request that state be made durable."""
         self.last_persist_number += 1
         persist_number = self.last_persist_number
         self.pending_persists[persist_number] = PendingPersist(self.log.last_index)
@@ -232,10 +250,10 @@
         )
 
     def append(self, entries: tuple[Entry, ...]) -> None:
-        """Append entries to the log and ask for them to be synced."""
+        """Append entries to the log and request that they be made durable."""
         first_index = entries[0].log_index
         if first_index <= self.commit:
-            raise AssertionError(f"committed entry {first_index} would be replaced")
+            raise AssertionError(f"cannot replace committed entry {first_index}")
         self.synced_index = min(self.synced_index, first_index - 1)
         for pending in self.pending_persists.values():
             pending.last_index = min(pending.last_index, first_index - 1)
@@ -245,7 +263,7 @@
             self.apply_latest_configuration()
 
     def apply_latest_configuration(self) -> None:
-        """Follow the latest configuration of the log."""
+        """Adapt the role or the leader state to the log's latest configuration."""
         log_decision(
             "agreement-configuration",
             replica=self.replica_id,
@@ -262,14 +280,18 @@
             self.set_role(self.passive_role(), self.leader)
 
     def enter_term(self, term: int, leader: ReplicaId | None) -> None:
-        """Move to a later term as a follower."""
+        """Enter a later term as a follower."""
         self.vote_record = VoteRecord(term)
         self.persist(vote=self.vote_record)
-        self.step_down("a later term began")
+        self.step_down("a later term has begun")
         self.set_role(self.passive_role(), leader)
 
     def step_down(self, reason: str) -> None:
-        """Give up leading or standing; answer what is owed."""
+        """End leadership or candidacy and answer all open requests.
+
+        Args:
+            reason: Why leadership ends, for the log and the replies.
+        """
         self.election = None
         leader_state = self.leadership
         self.leadership = None
@@ -291,7 +313,7 @@
         self.election_deadline = self.random_election_deadline()
 
     def commit_up_to(self, index: int) -> None:
-        """Take entries as committed, have them applied and answer for them."""
+        """Commit entries, request their application and answer their proposals."""
         if index <= self.commit:
             return
         entries = self.log.entries_between(self.commit + 1, index)
@@ -307,7 +329,7 @@
             self.actions.append(TakeSnapshot(index))
 
     def reply_to_committed(self, entries: tuple[Entry, ...]) -> None:
-        """Answer the proposals that these entries carry out."""
+        """Answer the proposals and membership changes in committed entries."""
         leader_state = self.leadership
         if leader_state is None:
             return
@@ -320,7 +342,7 @@
                 self.actions.append(reply)
 
     def fail(self, problem: Problem) -> None:
-        """Take no further part: what is on the disk is no longer known."""
+        """Stop participating, as the state on the disk is unknown after a failure."""
         self.failure = problem
         self.pending_persists.clear()
         self.step_down(str(problem))
--- a/libs/agreement/src/kumquatmux_agreement/election.py
+++ b/libs/agreement/src/kumquatmux_agreement/election.py
@@ -1,4 +1,4 @@
-"""Votes for one candidate, on trial or in earnest."""
+"""Votes granted to a candidate."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 
 
 class Election:
-    """The votes a candidate has gathered in one term.
+    """Votes granted to a candidate in one term.
 
     Attributes:
-        term: The term it stands in.
-        is_trial: Whether this is the pre-vote.
-        granted: Who granted a vote.
+        term: Term of the election.
+        is_pre_vote: Whether this is a pre-vote, which does not bind the voters.
+        granted_by: Replicas that granted their vote.
     """
 
     def __init__(self, term: int, *, is_pre_vote: bool) -> None:
@@ -20,6 +20,6 @@
         self.granted_by: set[ReplicaId] = set()
 
     def is_won(self, configuration: Configuration) -> bool:
-        """Return whether a quorum of voters has granted."""
+        """Return whether a quorum of voters has granted its vote."""
         votes = [voter for voter in configuration.voters if voter in self.granted_by]
         return len(votes) >= configuration.quorum
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -1,4 +1,4 @@
-"""What a follower does with the leader's entries and snapshots."""
+"""Handling of the leader's entries and snapshots by a follower."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def handle_append_request(core: ReplicaCore, message: AppendRequest) -> None:
-    """Take entries from a leader, or say where the logs part."""
+    """Append a leader's entries, or reply where the logs start to differ."""
     if not _accept_leader(core, message):
         _send_append_reply(
             core, message, is_matched=False, log_index=core.log.last_index + 1
@@ -38,7 +38,7 @@
 
 
 def handle_snapshot_chunk(core: ReplicaCore, message: SnapshotChunk) -> None:
-    """Take a part of a snapshot; install it once it is whole."""
+    """Store a chunk of a snapshot, and install the snapshot once it is complete."""
     if not _accept_leader(core, message):
         _send_append_reply(
             core, message, is_matched=False, log_index=core.log.last_index + 1
@@ -85,7 +85,7 @@
 
 
 def _accept_leader(core: ReplicaCore, message: AppendRequest | SnapshotChunk) -> bool:
-    """Follow the sender if its term is not over."""
+    """Follow the sender as leader unless its term is over; return whether it is."""
     if message.term < core.term:
         return False
     if message.term > core.term:
--- a/libs/agreement/src/kumquatmux_agreement/leader_state.py
+++ b/libs/agreement/src/kumquatmux_agreement/leader_state.py
@@ -1,4 +1,4 @@
-"""What a leader keeps while it leads."""
+"""State that a replica keeps only while it is the leader."""
 
 from __future__ import annotations
 
@@ -10,21 +10,24 @@
 from kumquatmux_agreement.settings import ReplicaSettings
 
 MAX_TRACKED_ROUNDS = 64
-"""Rounds whose time of sending is remembered."""
+"""Number of latest rounds whose send times are kept."""
 
 
 class ReplicationProgress:
-    """How far one follower is.
+    """Replication progress of one other member.
 
     Attributes:
-        match: Entry up to which its synced log equals the leader's.
-        next: Entry to be sent next.
-        round: Latest round it answered.
-        confirmed: When that round was sent by the leader's clock, in seconds.
-        heard_at: When it last answered, on the replica's steady clock.
-        snapshot: The snapshot being sent to it, None for none.
-        received: Bytes of it that have arrived.
-        told_commit: Commit index it was last told.
+        match_index: Last entry that is known to be persisted by the member and equal
+            to the leader's.
+        next_index: Next entry to send.
+        acknowledged_round: Latest round that the member has answered.
+        acknowledged_sent_at: Send time of the latest answered round on the
+            caller's clock, in seconds, or -inf if it was discarded.
+        last_contact_at: Time of the member's last answer on the leader's steady clock,
+            in seconds.
+        snapshot: Snapshot that is being sent to the member, or None.
+        received_bytes: Number of bytes of that snapshot that the member has received.
+        sent_commit_index: Last commit index sent to the member, -1 before the first.
     """
 
     def __init__(self, next_index: int, last_contact_at: float) -> None:
@@ -39,24 +42,36 @@
 
 
 class PendingRead(NamedTuple):
-    """A read that waits for a round to be answered by a quorum."""
+    """Read request that waits until a quorum has answered a round.
+
+    Attributes:
+        token: Token of the request, repeated in the reply.
+        round: Round that a quorum has to answer first.
+    """
 
     token: str
     round: int
 
 
 class LeaderState:
-    """The leader's knowledge of its followers and of what it owes answers for.
+    """A leader's view of the other members and its unanswered requests.
+
+    A round is one broadcast to all members. Its number is repeated in their answers,
+    so that the leader knows when an answered message was sent.
 
     Attributes:
-        progress: Each other member's progress.
-        pending: Token to answer by index of a proposal.
-        reads: Reads that wait.
-        joining: When replicas outside last asked to join, steady seconds.
+        settings: Settings of the replica.
+        progress: Replication progress by member, without the leader itself.
+        pending_proposals: Request token by the index of the uncommitted entry.
+        pending_reads: Read requests that wait for a quorum.
+        join_requests: Time of the last join request of each replica that sent one, on
+            the steady clock in seconds.
         round: Number of the latest round.
-        heartbeat_at: When the next heartbeat is due, steady seconds.
-        since: When it began to lead, steady seconds.
-        first_index: Its first entry; nothing is known committed before that one.
+        round_sent_at: Send time by round on the caller's clock, in seconds.
+        next_heartbeat_at: Time of the next heartbeat on the steady clock, in seconds.
+        leading_since: Time at which leadership began on the steady clock, in seconds.
+        first_index: First entry of the leader's own term. Until it is committed, the
+            leader cannot know which earlier entries are committed.
     """
 
     def __init__(
@@ -78,7 +93,13 @@
     def track_members(
         self, configuration: Configuration, next_index: int, steady_now: float
     ) -> None:
-        """Keep progress for just the other members of a configuration."""
+        """Track the progress of exactly the other members of a configuration.
+
+        Args:
+            configuration: Configuration whose members are tracked.
+            next_index: Next entry to send to a member that was not tracked before.
+            steady_now: Current time on the steady clock, in seconds.
+        """
         other_members = [
             member
             for member in configuration.members
@@ -93,13 +114,13 @@
         }
 
     def begin_round(self, now: float) -> None:
-        """Number the messages sent from now on."""
+        """Start the next round and record its send time."""
         self.round += 1
         self.round_sent_at[self.round] = now
         self.round_sent_at.pop(self.round - MAX_TRACKED_ROUNDS, None)
 
     def discard_send_times(self) -> None:
-        """Trust no time of sending from before a jump of the clock."""
+        """Discard the send times of all rounds, because the clock has jumped."""
         self.round_sent_at.clear()
         for progress in self.progress.values():
             progress.acknowledged_sent_at = -math.inf
@@ -107,7 +128,16 @@
     def record_reply(
         self, sender: ReplicaId, round_number: int, steady_now: float
     ) -> ReplicationProgress | None:
-        """Note an answer to a round; None if the sender is no member."""
+        """Record a member's reply to a round and return the member's progress.
+
+        Args:
+            sender: Replica that replied.
+            round_number: Round of the message that it replied to.
+            steady_now: Current time on the steady clock, in seconds.
+
+        Returns:
+            The sender's progress, or None if the sender is not a member.
+        """
         progress = self.progress.get(sender)
         if progress is None:
             return None
@@ -118,7 +148,7 @@
         return progress
 
     def lease_expires_at(self, configuration: Configuration, now: float) -> float:
-        """Return until when no other leader can exist, by the leader's clock."""
+        """Return the time until which no other replica can lead, in caller's time."""
         own_id = self.settings.replica
         acknowledged_times = [
             now if voter == own_id else self.progress[voter].acknowledged_sent_at
@@ -137,7 +167,12 @@
         return int(_quorum_value(rounds, configuration.quorum))
 
     def quorum_match_index(self, configuration: Configuration, synced: int) -> int:
-        """Return the last entry that a quorum has synced."""
+        """Return the last entry that a quorum has persisted.
+
+        Args:
+            configuration: Configuration whose voters are counted.
+            synced: Last entry that the leader itself has persisted.
+        """
         own_id = self.settings.replica
         indexes = [
             synced if voter == own_id else self.progress[voter].match_index
@@ -146,7 +181,7 @@
         return int(_quorum_value(indexes, configuration.quorum))
 
     def live_members(self, steady_now: float) -> frozenset[ReplicaId]:
-        """Return the members heard within the election timeout, itself included."""
+        """Return the leader and members that replied within the election timeout."""
         contact_cutoff = steady_now - self.settings.election_timeout_s
         recent_members = {
             member
@@ -156,7 +191,7 @@
         return frozenset(recent_members | {self.settings.replica})
 
     def oldest_sent_snapshot_index(self, steady_now: float) -> int | None:
-        """Return the last entry of the oldest snapshot on its way to a live member."""
+        """Return the lowest index of a snapshot that is being sent to a live member."""
         live_members = self.live_members(steady_now)
         sent_indexes = [
             progress.snapshot.log_index
@@ -166,7 +201,10 @@
         return min(sent_indexes, default=None)
 
     def recent_join_requests(self, steady_now: float) -> tuple[ReplicaId, ...]:
-        """Return who asked to join lately, by name."""
+        """Return the non-members that sent a join request recently, sorted by ID.
+
+        Requests older than three join periods are discarded.
+        """
         request_cutoff = steady_now - 3 * self.settings.join_period_s
         recent_requests = {
             who: at for who, at in self.join_requests.items() if at > request_cutoff
@@ -177,6 +215,6 @@
 
 
 def _quorum_value(values: list[float] | list[int], quorum: int) -> float:
-    """Return the highest value that a quorum has reached."""
+    """Return the highest value that a quorum has reached, 0 without a quorum."""
     descending = sorted(values, reverse=True)
     return descending[quorum - 1] if len(descending) >= quorum > 0 else 0
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -1,4 +1,4 @@
-"""What a leader does: entries out, acknowledgements in, membership one step on."""
+"""Leader operations: replication, requests, commits and membership changes."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 def become_leader(core: ReplicaCore) -> None:
-    """Begin to lead: an entry of the own term first."""
+    """Start to lead by appending an empty entry of the current term."""
     core.election = None
     core.leadership = LeaderState(core.settings, core.log, core.clock, core.now)
     core.set_role(Role.LEADER, core.replica_id)
@@ -42,7 +42,7 @@
     data: bytes = b"",
     configuration: Configuration | None = None,
 ) -> int:
-    """Append an entry of the own term and return its index."""
+    """Append an entry of the current term and return its index."""
     index = core.log.last_index + 1
     core.append((Entry(index, core.term, kind, data, configuration),))
     return index
@@ -51,7 +51,7 @@
 def propose(
     core: ReplicaCore, leader_state: LeaderState, data: bytes, token: str
 ) -> None:
-    """Put bytes into the log, or refuse before they enter it."""
+    """Append data to the log, or refuse the request."""
     problem = _proposal_problem(core, leader_state, data)
     if problem is not None:
         core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
@@ -62,9 +62,11 @@
 
 
 def answer_read(core: ReplicaCore, leader_state: LeaderState, token: str) -> None:
-    """Answer a read at once under the lease, else after a round."""
+    """Answer a read request at once under the lease, else after a round."""
     if core.commit < leader_state.first_index:
-        problem = Problem("not-ready", "the leader has not committed an entry yet")
+        problem = Problem(
+            "not-ready", "the leader has not committed an entry of its term yet"
+        )
         core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
     if leader_state.lease_expires_at(core.log.configuration, core.now) > core.now:
@@ -80,19 +82,22 @@
 def change_membership(
     core: ReplicaCore, leader_state: LeaderState, vms: tuple[VmId, ...], token: str
 ) -> None:
-    """Put the wanted VMs into the log; the steps follow one at a time."""
+    """Append the new set of control VMs to the log, or refuse the request.
+
+    The members are then changed one at a time by ``tick``.
+    """
     current_configuration = core.log.configuration
     new_configuration = current_configuration._replace(vms=tuple(sorted(set(vms))))
     problem = None
     if len(new_configuration.vms) not in ALLOWED_VM_COUNTS or len(vms) != len(
         new_configuration.vms
     ):
-        detail = f"{len(vms)} control VMs named, 1, 3 or 5 different ones allowed"
+        detail = f"{len(vms)} control VMs requested; 1, 3 or 5 distinct ones required"
         problem = Problem("membership-size", detail)
     elif not _can_change_membership(core, leader_state):
-        problem = Problem("membership-busy", "another membership change is under way")
+        problem = Problem("membership-busy", "another membership change is in progress")
     elif not has_live_quorum(new_configuration, leader_state.live_members(core.clock)):
-        problem = Problem("membership-quorum", "too few of the voters answer")
+        problem = Problem("membership-quorum", "too few of the voters are live")
     if problem is not None:
         core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
@@ -102,7 +107,7 @@
 
 
 def tick(core: ReplicaCore, leader_state: LeaderState) -> None:
-    """Step down without a quorum, send heartbeats, move membership on."""
+    """Step down without a live quorum; else send heartbeats and advance membership."""
     live_members = leader_state.live_members(core.clock)
     is_in_grace_period = (
         core.clock - leader_state.leading_since < core.settings.election_timeout_s
@@ -110,7 +115,7 @@
     if not is_in_grace_period and not has_live_quorum(
         core.log.configuration, live_members
     ):
-        core.step_down("no quorum answers")
+        core.step_down("no quorum of voters is live")
         core.set_role(core.passive_role(), None)
         return
     if core.clock >= leader_state.next_heartbeat_at:
@@ -120,7 +125,7 @@
 
 
 def broadcast(core: ReplicaCore) -> None:
-    """Begin a round and send every member what it lacks, or a heartbeat."""
+    """Start a round and send each member its missing entries or a heartbeat."""
     leader_state = core.leadership
     if leader_state is None:
         return
@@ -134,7 +139,7 @@
 
 
 def send_entries(core: ReplicaCore, leader_state: LeaderState) -> None:
-    """Send members the entries they lack, as far as the window allows."""
+    """Send the members their missing entries within the send window."""
     for member, progress in leader_state.progress.items():
         has_unsent_entries = progress.next_index <= core.log.last_index
         if (
@@ -146,7 +151,7 @@
 
 
 def handle_append_reply(core: ReplicaCore, message: AppendReply) -> None:
-    """Take an acknowledgement."""
+    """Process a member's acknowledgement or rejection of entries."""
     leader_state = core.leadership
     if leader_state is None or message.term != core.term:
         return
@@ -174,7 +179,7 @@
 
 
 def handle_snapshot_reply(core: ReplicaCore, message: SnapshotReply) -> None:
-    """Send the next part of a snapshot."""
+    """Send the next chunk of a snapshot."""
     leader_state = core.leadership
     if leader_state is None or message.term != core.term:
         return
@@ -191,7 +196,7 @@
 
 
 def advance_commit(core: ReplicaCore) -> None:
-    """Commit what a quorum has synced, if it is of the own term."""
+    """Commit the entries that a quorum has persisted, if of the current term."""
     leader_state = core.leadership
     if leader_state is None:
         return
@@ -203,7 +208,7 @@
     core.commit_up_to(quorum_index)
     if core.log.configuration_index <= quorum_index:
         if core.replica_id not in core.log.configuration.voters:
-            core.step_down("it is no longer a voter")
+            core.step_down("the replica is no longer a voter")
             core.set_role(core.passive_role(), None)
             return
     for member, progress in leader_state.progress.items():
@@ -238,12 +243,16 @@
         voter_count = len(core.log.configuration.voters)
         wanted_count = len(core.log.configuration.vms)
         return Problem(
-            "too-few-voters", f"{voter_count} of {wanted_count} control VMs vote"
+            "too-few-voters", f"{voter_count} of {wanted_count} control VMs are voters"
         )
     if len(data) > core.settings.max_entry_bytes:
-        return Problem("entry-too-long", f"an entry of {len(data)} bytes")
+        return Problem(
+            "entry-too-long", f"entry of {len(data)} bytes exceeds the limit"
+        )
     if len(leader_state.pending_proposals) >= core.settings.max_pending_entries:
-        return Problem("too-many-pending", "too many entries wait to be committed")
+        return Problem(
+            "too-many-pending", "too many proposals are waiting to be committed"
+        )
     return None
 
 
@@ -273,14 +282,14 @@
 
 
 def _resend_index(progress: ReplicationProgress) -> int:
-    """Return where to go on after a round without an acknowledgement."""
+    """Return the next index to send after the latest messages were not acknowledged."""
     return progress.match_index + 1 if progress.match_index else progress.next_index
 
 
 def _lower_match_index(
     progress: ReplicationProgress, member: ReplicaId, retry_index: int
 ) -> None:
-    """Believe a member that no longer holds what it had acknowledged."""
+    """Lower the match index of a member that lost entries it had acknowledged."""
     if retry_index <= progress.match_index:
         log_decision("agreement-entries-lost", member=member, after=retry_index - 1)
         progress.match_index = retry_index - 1
--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -1,4 +1,4 @@
-"""The log of one replica as it stands in memory."""
+"""In-memory log of one replica."""
 
 from __future__ import annotations
 
@@ -6,15 +6,16 @@
 
 
 class Log:
-    """Entries without gaps after a base, and the snapshot.
+    """Latest snapshot and the contiguous entries that follow a base entry.
 
     Attributes:
-        snapshot: The latest snapshot.
-        base_index: Entry before the first one held, at most the snapshot's.
+        snapshot: Latest snapshot.
+        base_index: Index of the entry before the first one in ``entries``, at most the
+            snapshot's index.
         base_term: Term of that entry.
-        entries: The entries held.
-        configurations: Indexes of configuration entries held with their content,
-            after that of the base.
+        entries: Entries after ``base_index``.
+        configurations: Index and content of the configuration in effect at the base,
+            then of each configuration entry after it.
     """
 
     def __init__(self, snapshot: Snapshot, entries: tuple[Entry, ...]) -> None:
@@ -22,7 +23,7 @@
         self.append(entries)
 
     def reset(self, snapshot: Snapshot) -> None:
-        """Hold a snapshot and nothing after it."""
+        """Replace the whole log by a snapshot without later entries."""
         self.snapshot = snapshot
         self.base_index = snapshot.log_index
         self.base_term = snapshot.term
@@ -41,23 +42,23 @@
 
     @property
     def configuration(self) -> Configuration:
-        """The latest configuration, committed or not."""
+        """Latest configuration, whether committed or not."""
         return self.configurations[-1][1]
 
     @property
     def configuration_index(self) -> int:
-        """Index of the entry the latest configuration came with."""
+        """Index of the entry that introduced the latest configuration."""
         return self.configurations[-1][0]
 
     def configuration_at(self, index: int) -> Configuration:
-        """Return the configuration in force after an entry."""
+        """Return the configuration in effect after an entry."""
         configurations = [
             configuration for at, configuration in self.configurations if at <= index
         ]
         return configurations[-1]
 
     def term_at(self, index: int) -> int | None:
-        """Return the term of an entry, None if it is not held."""
+        """Return the term of an entry, or None if the log does not contain it."""
         if index == self.base_index:
             return self.base_term
         if self.base_index < index <= self.last_index:
@@ -70,7 +71,13 @@
         return tuple(self.entries[start : last - self.base_index])
 
     def batch(self, first: int, last: int, max_bytes: int) -> tuple[Entry, ...]:
-        """Return entries from first on, at least one, up to a size in bytes."""
+        """Return at least one entry from ``first`` on, limited by data size.
+
+        Args:
+            first: Index of the first entry.
+            last: Index of the last entry that may be included.
+            max_bytes: Maximum data of all entries in bytes, if there is more than one.
+        """
         batch: list[Entry] = []
         batch_bytes = 0
         for entry in self.entries_between(first, last):
@@ -81,7 +88,7 @@
         return tuple(batch)
 
     def missing_suffix(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
-        """Return the entries from the first that the log does not hold."""
+        """Return the entries from the first one that the log does not contain."""
         for position, entry in enumerate(entries):
             if entry.log_index <= self.base_index:
                 continue
@@ -90,24 +97,33 @@
         return ()
 
     def append(self, entries: tuple[Entry, ...]) -> None:
-        """Append entries; what they overlap with is dropped first."""
+        """Append entries after dropping existing ones from the same index on."""
         if not entries:
             return
         self._truncate_from(entries[0].log_index)
         if entries[0].log_index != self.last_index + 1:
-            raise AssertionError(f"gap in the log before entry {entries[0].log_index}")
+            raise AssertionError(
+                f"gap in the log before appended entry {entries[0].log_index}"
+            )
         self.entries.extend(entries)
         for entry in entries:
             if entry.kind == EntryKind.CONFIGURATION and entry.configuration:
                 self.configurations.append((entry.log_index, entry.configuration))
 
     def compact(self, snapshot: Snapshot, keep_entries: int) -> None:
-        """Take a newer snapshot and hold only some entries up to it."""
+        """Install a newer snapshot and drop entries that precede it.
+
+        Args:
+            snapshot: New snapshot.
+            keep_entries: Number of entries up to the snapshot's index to retain.
+        """
         self.snapshot = snapshot
         base_index = max(self.base_index, snapshot.log_index - keep_entries)
         base_term = self.term_at(base_index)
         if base_term is None:
-            raise AssertionError(f"snapshot {snapshot.log_index} beyond the log")
+            raise AssertionError(
+                f"snapshot index {snapshot.log_index} is beyond the log"
+            )
         configuration = self.configuration_at(base_index)
         self.entries = self.entries[base_index - self.base_index :]
         later_configurations = [
@@ -118,7 +134,11 @@
         self.base_term = base_term
 
     def conflict_hint(self, index: int) -> int:
-        """Return where a leader should try again after a mismatch at an entry."""
+        """Return the index from which the leader should send again after a mismatch.
+
+        Args:
+            index: Entry that the log lacks or holds with a different term.
+        """
         if index > self.last_index:
             return self.last_index + 1
         term = self.term_at(index)
@@ -130,7 +150,7 @@
         if index > self.last_index:
             return
         if index <= self.snapshot.log_index:
-            raise AssertionError(f"entry {index} of the snapshot would be dropped")
+            raise AssertionError(f"cannot drop entry {index}: it is in the snapshot")
         del self.entries[index - self.base_index - 1 :]
         kept_configurations = [pair for pair in self.configurations if pair[0] < index]
         self.configurations = kept_configurations
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -1,4 +1,4 @@
-"""One replica of the log: an event and the time in, actions out."""
+"""Replica of the log as a state machine: an event and a time in, actions out."""
 
 from __future__ import annotations
 
@@ -44,34 +44,35 @@
 from kumquatmux_core.problems import Problem
 
 MAX_RETAINED_COMPACTIONS = 16
-"""Compactions that entries outlast for a member that receives a snapshot."""
+"""Compactions for which entries are retained while a snapshot is being sent."""
 
 
 class Replica:
-    """One replica of the log.
+    """Replica of the log.
 
-    The caller carries out the actions in order and reports each ``Persist``. Events
-    are to arrive at least every ``clock_gap_s`` seconds, ``Tick`` when nothing else.
+    The caller performs the actions in order and reports the result of each
+    ``Persist``. Events must arrive at least every ``clock_gap_s`` seconds, ``Tick`` if
+    there is no other.
     """
 
     def __init__(
         self, settings: ReplicaSettings, durable_state: DurableState, random: Random
     ) -> None:
-        """Start from what the disk holds.
+        """Start from the persisted state.
 
         Args:
-            settings: Who the replica is and how it keeps time.
-            restored: What it has made durable, ``founding_state`` or
-                ``joining_state`` at first.
-            random: Source of election timeouts.
+            settings: Identity, timing and limits of the replica.
+            durable_state: Persisted state; for a new replica from ``founding_state`` or
+                ``joining_state``.
+            random: Random source of election timeouts.
         """
         self.core = ReplicaCore(settings, durable_state, random)
 
     def handle(self, event: Event, now: float) -> list[Action]:
-        """Return the actions that follow an event.
+        """Handle an event and return the actions that it requires.
 
         Args:
-            event: What happened.
+            event: Event to handle.
             now: Monotonic time in seconds.
         """
         self.core.advance_clock(now)
@@ -84,7 +85,7 @@
         return actions
 
     def status(self) -> ReplicaStatus:
-        """Return what operators see."""
+        """Return the replica's status for operators."""
         core = self.core
         configuration = core.log.configuration
         leader_state = core.leadership
@@ -143,14 +144,14 @@
     @_handle_event.register
     def _(self, event: Propose) -> None:
         if self.core.leadership is None:
-            self._refuse(event, "not-leader", "this replica does not lead")
+            self._refuse(event, "not-leader", "this replica is not the leader")
             return
         leading.propose(self.core, self.core.leadership, event.data, event.token)
 
     @_handle_event.register
     def _(self, event: Read) -> None:
         if self.core.leadership is None:
-            self._refuse(event, "not-leader", "this replica does not lead")
+            self._refuse(event, "not-leader", "this replica is not the leader")
             return
         leading.answer_read(self.core, self.core.leadership, event.token)
 
@@ -158,7 +159,7 @@
     def _(self, event: ChangeMembership) -> None:
         leader_state = self.core.leadership
         if leader_state is None:
-            self._refuse(event, "not-leader", "this replica does not lead")
+            self._refuse(event, "not-leader", "this replica is not the leader")
             return
         leading.change_membership(self.core, leader_state, event.vms, event.token)
 
@@ -188,7 +189,9 @@
             return
         term = core.log.term_at(event.log_index)
         if term is None or event.log_index > core.commit:
-            raise AssertionError(f"snapshot at {event.log_index} is not of this log")
+            raise AssertionError(
+                f"no committed entry at snapshot index {event.log_index}"
+            )
         configuration = core.log.configuration_at(event.log_index)
         snapshot = Snapshot(event.log_index, term, configuration, event.data)
         core.log.compact(snapshot, self._entries_to_keep(event.log_index))
@@ -263,7 +266,11 @@
         return True
 
     def _entries_to_keep(self, snapshot_index: int) -> int:
-        """Keep what a member needs next that is still receiving a snapshot."""
+        """Return how many entries up to a new snapshot's index to keep.
+
+        Entries that a live member needs after the snapshot that is being sent to it are
+        kept, up to a limit.
+        """
         settings = self.core.settings
         leader_state = self.core.leadership
         oldest_snapshot_index = (
@@ -280,9 +287,9 @@
         return max(settings.keep_entries, needed_entries)
 
     def _should_request_join(self) -> bool:
-        """Return whether no leader may know this replica.
+        """Return whether the current leader may not know this replica.
 
-        Its own log may name it a member by an entry that was never committed.
+        The replica's log may name it as a member in an entry that was never committed.
         """
         core = self.core
         since_contact_s = core.clock - core.heard_at
--- a/libs/agreement/src/kumquatmux_agreement/replication.py
+++ b/libs/agreement/src/kumquatmux_agreement/replication.py
@@ -1,4 +1,4 @@
-"""What a leader sends a member next."""
+"""Messages that replicate the leader's log or snapshot to a member."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     member: ReplicaId,
     progress: ReplicationProgress,
 ) -> None:
-    """Send a member the entries or the part of a snapshot it needs next."""
+    """Send a member the next entries or the next chunk of a snapshot."""
     if progress.snapshot is not None or progress.next_index <= core.log.base_index:
         _send_snapshot_chunk(core, leader_state, member, progress)
         return
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -1,4 +1,4 @@
-"""Standing for election and voting."""
+"""Leader elections: pre-votes, votes and leadership transfer."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 def start_pre_vote(core: ReplicaCore) -> None:
-    """Ask the voters whether they would vote for this replica."""
+    """Start a pre-vote, or an election if this replica's own vote is a quorum."""
     core.schedule_elections()
     core.set_role(Role.CANDIDATE, None)
     election = Election(core.term + 1, is_pre_vote=True)
@@ -27,7 +27,11 @@
 
 
 def handle_vote_request(core: ReplicaCore, message: VoteRequest) -> None:
-    """Grant a vote or refuse it."""
+    """Grant or refuse a vote or pre-vote.
+
+    A replica that leads or has recently heard from a leader refuses, unless the
+    leader itself asked for the election.
+    """
     if _has_live_leader(core) and not message.is_leadership_transfer:
         _send_vote_reply(core, message, is_granted=False)
         return
@@ -54,7 +58,7 @@
 
 
 def handle_vote_reply(core: ReplicaCore, message: VoteReply) -> None:
-    """Count a vote; lead once a quorum has granted."""
+    """Count a granted vote and become leader once a quorum has granted it."""
     if not message.is_granted and message.term > core.term:
         core.enter_term(message.term, None)
         return
@@ -78,7 +82,7 @@
 
 
 def count_own_vote(core: ReplicaCore) -> None:
-    """Count the own vote once it is on the disk."""
+    """Count the candidate's own vote once its vote record is persisted."""
     election = core.election
     if (
         election is None
@@ -92,7 +96,7 @@
 
 
 def handle_stand_now(core: ReplicaCore, message: StandNow) -> None:
-    """Stand at once in place of a leader that stops."""
+    """Start an election at once because a stopping leader asked for it."""
     if (
         message.term == core.term
         and core.can_start_election
@@ -103,7 +107,7 @@
 
 
 def transfer_leadership(core: ReplicaCore, leader_state: LeaderState) -> None:
-    """Ask a voter that holds the whole log to lead instead, if there is one."""
+    """Ask a live voter whose log is complete to lead instead, if there is one."""
     live_members = leader_state.live_members(core.clock)
     for voter in core.log.configuration.voters:
         progress = leader_state.progress.get(voter)
@@ -162,10 +166,11 @@
 
 
 def _wins_pre_vote_tie(core: ReplicaCore, message: VoteRequest) -> bool:
-    """Return whether this replica gathers the same votes and stands before the sender.
+    """Return whether this replica's pre-vote takes precedence over the sender's.
 
-    Of two candidates with equal logs only one may win its trial, or each would keep
-    its own vote in earnest and both would wait for another term.
+    Of two candidates with equal logs, only the one with the lower replica ID may win
+    its pre-vote. Otherwise both would start an election, vote for themselves and
+    have to wait for another term.
     """
     if core.election is None or not core.election.is_pre_vote:
         return False
