Reword membership and voter selection of the agreement library

Cause: doc comments spoke of seats and figurative steps. Change: they speak of the VMs selected as voters. Result: no behaviour changed; the tests of libs/agreement pass.

--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -1,4 +1,4 @@
-"""One step at a time from the voters there are to the VMs that are wanted."""
+"""Stepwise membership changes towards one voter on each wanted VM."""
 
 from __future__ import annotations
 
@@ -7,17 +7,17 @@
 from kumquatmux_agreement.entries import Configuration, ReplicaId
 
 ALLOWED_VM_COUNTS = (1, 3, 5)
-"""How many control VMs a cluster may have."""
+"""Allowed numbers of control VMs in a cluster."""
 
 
 class MembershipView(NamedTuple):
-    """What a leader knows of replicas.
+    """What a leader knows about the replicas.
 
     Attributes:
-        leader: The leader itself.
-        joining: Replicas outside the configuration that asked to join lately.
-        live: Members that answered lately, the leader included.
-        caught_up: Learners that hold all that is committed.
+        leader: Identity of the leader.
+        join_requests: Replicas outside the configuration that recently asked to join.
+        live_members: Members that replied recently, including the leader.
+        caught_up_learners: Learners that hold every committed entry.
     """
 
     leader: ReplicaId
@@ -29,7 +29,7 @@
 def has_live_quorum(
     configuration: Configuration, live_members: frozenset[ReplicaId]
 ) -> bool:
-    """Return whether enough voters of a configuration answer."""
+    """Return whether a quorum of a configuration's voters is live."""
     live_voters = [voter for voter in configuration.voters if voter in live_members]
     return len(live_voters) >= configuration.quorum
 
@@ -37,10 +37,10 @@
 def next_configuration(
     current: Configuration, view: MembershipView
 ) -> Configuration | None:
-    """Return the next configuration to be agreed on, None if there is none.
+    """Return the next configuration to agree on, or None if no change is possible.
 
-    Any two configurations in a row differ by one voter at most, so that their
-    quorums overlap.
+    Consecutive configurations differ in at most one voter, so that their quorums
+    overlap.
     """
     step_functions = (
         _remove_learner,
@@ -84,10 +84,10 @@
 def _remove_replaced_voter(
     current: Configuration, view: MembershipView
 ) -> Configuration | None:
-    """Drop a voter whose VM has come back with another folder.
+    """Remove an unresponsive voter whose VM has a caught-up learner.
 
-    A voter that is merely silent stays until its successor votes: it may come back,
-    and the rest may need its vote if another one loses its disk meanwhile.
+    Without such a learner the voter stays: it may come back, and the others may need
+    its vote if another voter loses its disk in the meantime.
     """
     caught_up_vms = {learner.vm for learner in view.caught_up_learners}
     for voter in current.voters:
--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -1,4 +1,4 @@
-"""Which control VMs should vote, when VMs come and go without an operator."""
+"""Selection of the control VMs that vote, without action by an operator."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 
 
 class Candidate(NamedTuple):
-    """A control VM that may vote.
+    """Control VM that can become a voter.
 
     Attributes:
-        vm: Its name.
-        zone: Its availability zone.
+        vm: Name of the VM.
+        zone: Availability zone of the VM.
     """
 
     vm: VmId
@@ -20,14 +20,14 @@
 
 
 class SeatsView(NamedTuple):
-    """What a leader knows of control VMs.
+    """What the leader knows about the control VMs.
 
     Attributes:
-        leader: The leader's VM.
-        wanted: The VMs that are wanted as voters now.
-        present: Control VMs that were heard lately, the leader's included.
-        gone: Wanted VMs that have not been heard for long.
-        size: How many voters there should be.
+        leader: VM of the leader.
+        voter_vms: VMs currently selected as voters.
+        reachable: Control VMs heard from recently, including the leader's.
+        unreachable: Selected VMs that have not been heard from for a long time.
+        voter_count: Number of VMs that should be selected.
     """
 
     leader: VmId
@@ -38,15 +38,15 @@
 
 
 def voters_for(tolerated_losses: int) -> int:
-    """Return how many voters outlive the loss of some of them."""
+    """Return the number of voters needed to survive a number of lost voters."""
     return 2 * tolerated_losses + 1
 
 
 def next_wanted(view: SeatsView) -> tuple[VmId, ...] | None:
-    """Return the VMs that should be wanted next, None to keep them.
+    """Return the VMs to select as voters next, or None to keep the selection.
 
-    A seat moves only from a VM that is gone to one that is present, so that a
-    short silence moves nothing while nobody waits for the seat.
+    A VM is replaced only if it is unreachable and a reachable VM can take its place,
+    so that a short outage changes nothing while no replacement is available.
     """
     spare_vms = [
         candidate for candidate in view.reachable if candidate.vm not in view.voter_vms
@@ -79,7 +79,7 @@
 def _select_spare_vm(
     view: SeatsView, spare_vms: list[Candidate], voter_vms: set[VmId]
 ) -> VmId:
-    """Return the spare VM whose zone holds the fewest seats."""
+    """Return the spare VM whose zone has the fewest selected VMs."""
     zones = {candidate.vm: candidate.zone for candidate in view.reachable}
     occupied_zones = [zones.get(vm) for vm in voter_vms]
     selected = min(
