--- a/libs/agreement/tests/test_guide.py
+++ b/libs/agreement/tests/test_guide.py
@@ -3,9 +3,9 @@
 import re
 from pathlib import Path
 
-GUIDE = Path(__file__).parents[3] / "docs" / "guide" / "embed-agreement.md"
+GUIDE_PATH = Path(__file__).parents[3] / "docs" / "guide" / "embed-agreement.md"
 
 
 def test_the_example_of_the_guide_runs():
-    (code,) = re.findall(r"```python\n(.*?)```", GUIDE.read_text(), re.DOTALL)
-    exec(compile(code, str(GUIDE), "exec"), {})
+    (code,) = re.findall(r"```python\n(.*?)```", GUIDE_PATH.read_text(), re.DOTALL)
+    exec(compile(code, str(GUIDE_PATH), "exec"), {})
