Rename FIRST to FIRST_CONFIGURATION

The constant is a Configuration.

Rename: libs/agreement/tests/test_log.py FIRST FIRST_CONFIGURATION

--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -5,7 +5,7 @@
 from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, Snapshot
 from kumquatmux_agreement.log import Log
 
-FIRST = Configuration(("a",), ())
+FIRST_CONFIGURATION = Configuration(("a",), ())
 SECOND = Configuration(("b",), ())
 
 
@@ -15,7 +15,7 @@
 
 def log(*terms):
     entries = tuple(entry(place, term) for place, term in enumerate(terms, 1))
-    return Log(Snapshot(0, 0, FIRST, b""), entries)
+    return Log(Snapshot(0, 0, FIRST_CONFIGURATION, b""), entries)
 
 
 def test_a_conflicting_entry_drops_all_that_follow_and_their_configuration():
@@ -23,20 +23,24 @@
     held.append((Entry(3, 1, EntryKind.CONFIGURATION, b"", SECOND),))
     assert held.configuration == SECOND
     held.append((entry(2, 2),))
-    assert (held.last_index, held.last_term, held.configuration) == (2, 2, FIRST)
+    assert (held.last_index, held.last_term, held.configuration) == (
+        2,
+        2,
+        FIRST_CONFIGURATION,
+    )
 
 
 @pytest.mark.parametrize("index", [0, 5])
 def test_gaps_and_the_snapshot_are_invariants(index):
     held = log(1, 1, 1)
-    held.compact(Snapshot(2, 1, FIRST, b""), keep_entries=0)
+    held.compact(Snapshot(2, 1, FIRST_CONFIGURATION, b""), keep_entries=0)
     with pytest.raises(AssertionError):
         held.append((entry(index, 2),))
 
 
 def test_compaction_keeps_a_few_entries_for_slow_followers():
     held = log(1, 1, 2, 2, 3)
-    held.compact(Snapshot(4, 2, FIRST, b""), keep_entries=2)
+    held.compact(Snapshot(4, 2, FIRST_CONFIGURATION, b""), keep_entries=2)
     assert (held.base_index, held.base_term, held.last_index) == (2, 1, 5)
     assert [held.term_at(index) for index in range(1, 7)] == [None, 1, 2, 2, 3, None]
 
