Rename SECOND to SECOND_CONFIGURATION

The constant is a Configuration.

Rename: libs/agreement/tests/test_log.py SECOND SECOND_CONFIGURATION

--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -6,7 +6,7 @@
 from kumquatmux_agreement.log import Log
 
 FIRST_CONFIGURATION = Configuration(("a",), ())
-SECOND = Configuration(("b",), ())
+SECOND_CONFIGURATION = Configuration(("b",), ())
 
 
 def entry(index, term):
@@ -20,8 +20,8 @@
 
 def test_a_conflicting_entry_drops_all_that_follow_and_their_configuration():
     held = log(1, 1)
-    held.append((Entry(3, 1, EntryKind.CONFIGURATION, b"", SECOND),))
-    assert held.configuration == SECOND
+    held.append((Entry(3, 1, EntryKind.CONFIGURATION, b"", SECOND_CONFIGURATION),))
+    assert held.configuration == SECOND_CONFIGURATION
     held.append((entry(2, 2),))
     assert (held.last_index, held.last_term, held.configuration) == (
         2,
