--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -9,12 +9,12 @@
 SECOND_CONFIGURATION = Configuration(("b",), ())
 
 
-def entry(index, term):
+def data_entry(index, term):
     return Entry(index, term, EntryKind.DATA, b"12345")
 
 
 def log(*terms):
-    entries = tuple(entry(place, term) for place, term in enumerate(terms, 1))
+    entries = tuple(data_entry(place, term) for place, term in enumerate(terms, 1))
     return Log(Snapshot(0, 0, FIRST_CONFIGURATION, b""), entries)
 
 
@@ -22,7 +22,7 @@
     held = log(1, 1)
     held.append((Entry(3, 1, EntryKind.CONFIGURATION, b"", SECOND_CONFIGURATION),))
     assert held.configuration == SECOND_CONFIGURATION
-    held.append((entry(2, 2),))
+    held.append((data_entry(2, 2),))
     assert (held.last_index, held.last_term, held.configuration) == (
         2,
         2,
@@ -35,7 +35,7 @@
     held = log(1, 1, 1)
     held.compact(Snapshot(2, 1, FIRST_CONFIGURATION, b""), keep_entries=0)
     with pytest.raises(AssertionError):
-        held.append((entry(index, 2),))
+        held.append((data_entry(index, 2),))
 
 
 def test_compaction_keeps_a_few_entries_for_slow_followers():
@@ -47,9 +47,14 @@
 
 def test_only_the_unknown_part_is_taken():
     held = log(1, 1, 2)
-    assert held.missing_suffix((entry(2, 1), entry(3, 2))) == ()
-    assert held.missing_suffix((entry(3, 2), entry(4, 2))) == (entry(4, 2),)
-    assert held.missing_suffix((entry(2, 3), entry(3, 3))) == (entry(2, 3), entry(3, 3))
+    assert held.missing_suffix((data_entry(2, 1), data_entry(3, 2))) == ()
+    assert held.missing_suffix((data_entry(3, 2), data_entry(4, 2))) == (
+        data_entry(4, 2),
+    )
+    assert held.missing_suffix((data_entry(2, 3), data_entry(3, 3))) == (
+        data_entry(2, 3),
+        data_entry(3, 3),
+    )
 
 
 def test_a_batch_has_at_least_one_entry():
