--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -13,13 +13,13 @@
     return Entry(index, term, EntryKind.DATA, b"12345")
 
 
-def log(*terms):
+def log_with_terms(*terms):
     entries = tuple(data_entry(place, term) for place, term in enumerate(terms, 1))
     return Log(Snapshot(0, 0, FIRST_CONFIGURATION, b""), entries)
 
 
 def test_a_conflicting_entry_drops_all_that_follow_and_their_configuration():
-    held = log(1, 1)
+    held = log_with_terms(1, 1)
     held.append((Entry(3, 1, EntryKind.CONFIGURATION, b"", SECOND_CONFIGURATION),))
     assert held.configuration == SECOND_CONFIGURATION
     held.append((data_entry(2, 2),))
@@ -32,21 +32,21 @@
 
 @pytest.mark.parametrize("index", [0, 5])
 def test_gaps_and_the_snapshot_are_invariants(index):
-    held = log(1, 1, 1)
+    held = log_with_terms(1, 1, 1)
     held.compact(Snapshot(2, 1, FIRST_CONFIGURATION, b""), keep_entries=0)
     with pytest.raises(AssertionError):
         held.append((data_entry(index, 2),))
 
 
 def test_compaction_keeps_a_few_entries_for_slow_followers():
-    held = log(1, 1, 2, 2, 3)
+    held = log_with_terms(1, 1, 2, 2, 3)
     held.compact(Snapshot(4, 2, FIRST_CONFIGURATION, b""), keep_entries=2)
     assert (held.base_index, held.base_term, held.last_index) == (2, 1, 5)
     assert [held.term_at(index) for index in range(1, 7)] == [None, 1, 2, 2, 3, None]
 
 
 def test_only_the_unknown_part_is_taken():
-    held = log(1, 1, 2)
+    held = log_with_terms(1, 1, 2)
     assert held.missing_suffix((data_entry(2, 1), data_entry(3, 2))) == ()
     assert held.missing_suffix((data_entry(3, 2), data_entry(4, 2))) == (
         data_entry(4, 2),
@@ -58,12 +58,12 @@
 
 
 def test_a_batch_has_at_least_one_entry():
-    held = log(1, 1, 1)
+    held = log_with_terms(1, 1, 1)
     assert len(held.batch(1, 3, max_bytes=1)) == 1
     assert len(held.batch(1, 3, max_bytes=10)) == 2
 
 
 def test_a_hint_skips_a_whole_term():
-    held = log(1, 2, 2, 2)
+    held = log_with_terms(1, 2, 2, 2)
     assert held.conflict_hint(4) == 2
     assert held.conflict_hint(9) == 5
