--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -14,7 +14,7 @@
 
 
 def log_with_terms(*terms):
-    entries = tuple(data_entry(place, term) for place, term in enumerate(terms, 1))
+    entries = tuple(data_entry(index, term) for index, term in enumerate(terms, 1))
     return Log(Snapshot(0, 0, FIRST_CONFIGURATION, b""), entries)
 
 
