--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -19,11 +19,11 @@
 
 
 def test_a_conflicting_entry_drops_all_that_follow_and_their_configuration():
-    held = log_with_terms(1, 1)
-    held.append((Entry(3, 1, EntryKind.CONFIGURATION, b"", SECOND_CONFIGURATION),))
-    assert held.configuration == SECOND_CONFIGURATION
-    held.append((data_entry(2, 2),))
-    assert (held.last_index, held.last_term, held.configuration) == (
+    log = log_with_terms(1, 1)
+    log.append((Entry(3, 1, EntryKind.CONFIGURATION, b"", SECOND_CONFIGURATION),))
+    assert log.configuration == SECOND_CONFIGURATION
+    log.append((data_entry(2, 2),))
+    assert (log.last_index, log.last_term, log.configuration) == (
         2,
         2,
         FIRST_CONFIGURATION,
