--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -32,10 +32,10 @@
 
 @pytest.mark.parametrize("index", [0, 5])
 def test_gaps_and_the_snapshot_are_invariants(index):
-    held = log_with_terms(1, 1, 1)
-    held.compact(Snapshot(2, 1, FIRST_CONFIGURATION, b""), keep_entries=0)
+    log = log_with_terms(1, 1, 1)
+    log.compact(Snapshot(2, 1, FIRST_CONFIGURATION, b""), keep_entries=0)
     with pytest.raises(AssertionError):
-        held.append((data_entry(index, 2),))
+        log.append((data_entry(index, 2),))
 
 
 def test_compaction_keeps_a_few_entries_for_slow_followers():
