--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -39,10 +39,10 @@
 
 
 def test_compaction_keeps_a_few_entries_for_slow_followers():
-    held = log_with_terms(1, 1, 2, 2, 3)
-    held.compact(Snapshot(4, 2, FIRST_CONFIGURATION, b""), keep_entries=2)
-    assert (held.base_index, held.base_term, held.last_index) == (2, 1, 5)
-    assert [held.term_at(index) for index in range(1, 7)] == [None, 1, 2, 2, 3, None]
+    log = log_with_terms(1, 1, 2, 2, 3)
+    log.compact(Snapshot(4, 2, FIRST_CONFIGURATION, b""), keep_entries=2)
+    assert (log.base_index, log.base_term, log.last_index) == (2, 1, 5)
+    assert [log.term_at(index) for index in range(1, 7)] == [None, 1, 2, 2, 3, None]
 
 
 def test_only_the_unknown_part_is_taken():
