--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -46,12 +46,12 @@
 
 
 def test_only_the_unknown_part_is_taken():
-    held = log_with_terms(1, 1, 2)
-    assert held.missing_suffix((data_entry(2, 1), data_entry(3, 2))) == ()
-    assert held.missing_suffix((data_entry(3, 2), data_entry(4, 2))) == (
+    log = log_with_terms(1, 1, 2)
+    assert log.missing_suffix((data_entry(2, 1), data_entry(3, 2))) == ()
+    assert log.missing_suffix((data_entry(3, 2), data_entry(4, 2))) == (
         data_entry(4, 2),
     )
-    assert held.missing_suffix((data_entry(2, 3), data_entry(3, 3))) == (
+    assert log.missing_suffix((data_entry(2, 3), data_entry(3, 3))) == (
         data_entry(2, 3),
         data_entry(3, 3),
     )
