--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -58,9 +58,9 @@
 
 
 def test_a_batch_has_at_least_one_entry():
-    held = log_with_terms(1, 1, 1)
-    assert len(held.batch(1, 3, max_bytes=1)) == 1
-    assert len(held.batch(1, 3, max_bytes=10)) == 2
+    log = log_with_terms(1, 1, 1)
+    assert len(log.batch(1, 3, max_bytes=1)) == 1
+    assert len(log.batch(1, 3, max_bytes=10)) == 2
 
 
 def test_a_hint_skips_a_whole_term():
