--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -64,6 +64,6 @@
 
 
 def test_a_hint_skips_a_whole_term():
-    held = log_with_terms(1, 2, 2, 2)
-    assert held.conflict_hint(4) == 2
-    assert held.conflict_hint(9) == 5
+    log = log_with_terms(1, 2, 2, 2)
+    assert log.conflict_hint(4) == 2
+    assert log.conflict_hint(9) == 5
