Rename test_a_conflicting_entry_drops_all_that_follow_and_their_configuration to test_conflicting_entry_drops_later_entries_and_configurations

A plainer name.

Rename: libs/agreement/tests/test_log.py test_a_conflicting_entry_drops_all_that_follow_and_their_configuration test_conflicting_entry_drops_later_entries_and_configurations

--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -18,7 +18,7 @@
     return Log(Snapshot(0, 0, FIRST_CONFIGURATION, b""), entries)
 
 
-def test_a_conflicting_entry_drops_all_that_follow_and_their_configuration():
+def test_conflicting_entry_drops_later_entries_and_configurations():
     log = log_with_terms(1, 1)
     log.append((Entry(3, 1, EntryKind.CONFIGURATION, b"", SECOND_CONFIGURATION),))
     assert log.configuration == SECOND_CONFIGURATION
