--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -31,7 +31,7 @@
 
 
 @pytest.mark.parametrize("index", [0, 5])
-def test_gaps_and_the_snapshot_are_invariants(index):
+def test_append_rejects_gaps_and_entries_in_the_snapshot(index):
     log = log_with_terms(1, 1, 1)
     log.compact(Snapshot(2, 1, FIRST_CONFIGURATION, b""), keep_entries=0)
     with pytest.raises(AssertionError):
