Rename test_compaction_keeps_a_few_entries_for_slow_followers to test_compaction_retains_entries_for_slow_followers

A plainer name.

Rename: libs/agreement/tests/test_log.py test_compaction_keeps_a_few_entries_for_slow_followers test_compaction_retains_entries_for_slow_followers

--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -38,7 +38,7 @@
         log.append((data_entry(index, 2),))
 
 
-def test_compaction_keeps_a_few_entries_for_slow_followers():
+def test_compaction_retains_entries_for_slow_followers():
     log = log_with_terms(1, 1, 2, 2, 3)
     log.compact(Snapshot(4, 2, FIRST_CONFIGURATION, b""), keep_entries=2)
     assert (log.base_index, log.base_term, log.last_index) == (2, 1, 5)
