Rename test_only_the_unknown_part_is_taken to test_missing_suffix_starts_at_first_missing_entry

The name says what is checked.

Rename: libs/agreement/tests/test_log.py test_only_the_unknown_part_is_taken test_missing_suffix_starts_at_first_missing_entry

--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -45,7 +45,7 @@
     assert [log.term_at(index) for index in range(1, 7)] == [None, 1, 2, 2, 3, None]
 
 
-def test_only_the_unknown_part_is_taken():
+def test_missing_suffix_starts_at_first_missing_entry():
     log = log_with_terms(1, 1, 2)
     assert log.missing_suffix((data_entry(2, 1), data_entry(3, 2))) == ()
     assert log.missing_suffix((data_entry(3, 2), data_entry(4, 2))) == (
