--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -57,7 +57,7 @@
     )
 
 
-def test_a_batch_has_at_least_one_entry():
+def test_batch_has_at_least_one_entry():
     log = log_with_terms(1, 1, 1)
     assert len(log.batch(1, 3, max_bytes=1)) == 1
     assert len(log.batch(1, 3, max_bytes=10)) == 2
