Rename test_a_hint_skips_a_whole_term to test_conflict_hint_skips_a_whole_term

The name says what is checked.

Rename: libs/agreement/tests/test_log.py test_a_hint_skips_a_whole_term test_conflict_hint_skips_a_whole_term

--- a/libs/agreement/tests/test_log.py
+++ b/libs/agreement/tests/test_log.py
@@ -63,7 +63,7 @@
     assert len(log.batch(1, 3, max_bytes=10)) == 2
 
 
-def test_a_hint_skips_a_whole_term():
+def test_conflict_hint_skips_a_whole_term():
     log = log_with_terms(1, 2, 2, 2)
     assert log.conflict_hint(4) == 2
     assert log.conflict_hint(9) == 5
