--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -5,7 +5,7 @@
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
 
-def view(wanted, present, gone=(), size=3):
+def selection_view(wanted, present, gone=(), size=3):
     there = tuple(Candidate(vm, ZONES[vm]) for vm in present)
     return SeatsView("a1", tuple(wanted), there, frozenset(gone), size)
 
@@ -15,28 +15,34 @@
 
 
 def test_nothing_moves_while_all_are_there():
-    assert next_wanted(view(["a1", "b1", "c1"], ["a1", "b1", "c1", "c2"])) is None
+    assert (
+        next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "b1", "c1", "c2"]))
+        is None
+    )
 
 
 def test_a_seat_does_not_move_without_a_vm_to_take_it():
-    assert next_wanted(view(["a1", "b1", "c1"], ["a1", "b1"], gone=["c1"])) is None
+    assert (
+        next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "b1"], gone=["c1"]))
+        is None
+    )
 
 
 def test_a_new_vm_takes_the_seat_of_one_that_is_gone():
-    seats = view(["a1", "b1", "c1"], ["a1", "b1", "c2"], gone=["c1"])
+    seats = selection_view(["a1", "b1", "c1"], ["a1", "b1", "c2"], gone=["c1"])
     assert next_wanted(seats) == ("a1", "b1", "c2")
 
 
 def test_the_zone_with_the_fewest_seats_comes_first():
-    seats = view(["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], gone=["c1"])
+    seats = selection_view(["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], gone=["c1"])
     assert next_wanted(seats) == ("a1", "b1", "c2")
 
 
 def test_seats_grow_to_the_size_at_once():
     present = ["a1", "a2", "b1", "b2", "c1", "c2"]
-    seats = next_wanted(view(["a1", "b1", "c1"], present, size=5))
+    seats = next_wanted(selection_view(["a1", "b1", "c1"], present, size=5))
     assert seats == ("a1", "a2", "b1", "b2", "c1")
 
 
 def test_seats_do_not_grow_while_too_few_are_there():
-    assert next_wanted(view(["a1", "b1", "c1"], ["a1", "a2"], size=5)) is None
+    assert next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "a2"], size=5)) is None
