--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -6,8 +6,8 @@
 
 
 def selection_view(wanted, present, gone=(), size=3):
-    there = tuple(Candidate(vm, ZONES[vm]) for vm in present)
-    return SeatsView("a1", tuple(wanted), there, frozenset(gone), size)
+    candidates = tuple(Candidate(vm, ZONES[vm]) for vm in present)
+    return SeatsView("a1", tuple(wanted), candidates, frozenset(gone), size)
 
 
 def test_as_many_voters_as_outlive_the_losses():
