--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -29,8 +29,8 @@
 
 
 def test_a_new_vm_takes_the_seat_of_one_that_is_gone():
-    seats = selection_view(["a1", "b1", "c1"], ["a1", "b1", "c2"], gone=["c1"])
-    assert next_wanted(seats) == ("a1", "b1", "c2")
+    view = selection_view(["a1", "b1", "c1"], ["a1", "b1", "c2"], gone=["c1"])
+    assert next_wanted(view) == ("a1", "b1", "c2")
 
 
 def test_the_zone_with_the_fewest_seats_comes_first():
