--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -34,8 +34,8 @@
 
 
 def test_the_zone_with_the_fewest_seats_comes_first():
-    seats = selection_view(["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], gone=["c1"])
-    assert next_wanted(seats) == ("a1", "b1", "c2")
+    view = selection_view(["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], gone=["c1"])
+    assert next_wanted(view) == ("a1", "b1", "c2")
 
 
 def test_seats_grow_to_the_size_at_once():
