--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -40,8 +40,8 @@
 
 def test_seats_grow_to_the_size_at_once():
     present = ["a1", "a2", "b1", "b2", "c1", "c2"]
-    seats = next_wanted(selection_view(["a1", "b1", "c1"], present, size=5))
-    assert seats == ("a1", "a2", "b1", "b2", "c1")
+    voter_vms = next_wanted(selection_view(["a1", "b1", "c1"], present, size=5))
+    assert voter_vms == ("a1", "a2", "b1", "b2", "c1")
 
 
 def test_seats_do_not_grow_while_too_few_are_there():
