--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -5,9 +5,9 @@
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
 
-def selection_view(wanted, present, gone=(), size=3):
+def selection_view(voter_vms, present, gone=(), size=3):
     candidates = tuple(Candidate(vm, ZONES[vm]) for vm in present)
-    return SeatsView("a1", tuple(wanted), candidates, frozenset(gone), size)
+    return SeatsView("a1", tuple(voter_vms), candidates, frozenset(gone), size)
 
 
 def test_as_many_voters_as_outlive_the_losses():
