--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -5,8 +5,8 @@
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
 
-def selection_view(voter_vms, present, gone=(), size=3):
-    candidates = tuple(Candidate(vm, ZONES[vm]) for vm in present)
+def selection_view(voter_vms, reachable, gone=(), size=3):
+    candidates = tuple(Candidate(vm, ZONES[vm]) for vm in reachable)
     return SeatsView("a1", tuple(voter_vms), candidates, frozenset(gone), size)
 
 
