--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -5,9 +5,9 @@
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
 
-def selection_view(voter_vms, reachable, gone=(), size=3):
+def selection_view(voter_vms, reachable, unreachable=(), size=3):
     candidates = tuple(Candidate(vm, ZONES[vm]) for vm in reachable)
-    return SeatsView("a1", tuple(voter_vms), candidates, frozenset(gone), size)
+    return SeatsView("a1", tuple(voter_vms), candidates, frozenset(unreachable), size)
 
 
 def test_as_many_voters_as_outlive_the_losses():
@@ -23,18 +23,22 @@
 
 def test_a_seat_does_not_move_without_a_vm_to_take_it():
     assert (
-        next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "b1"], gone=["c1"]))
+        next_wanted(
+            selection_view(["a1", "b1", "c1"], ["a1", "b1"], unreachable=["c1"])
+        )
         is None
     )
 
 
 def test_a_new_vm_takes_the_seat_of_one_that_is_gone():
-    view = selection_view(["a1", "b1", "c1"], ["a1", "b1", "c2"], gone=["c1"])
+    view = selection_view(["a1", "b1", "c1"], ["a1", "b1", "c2"], unreachable=["c1"])
     assert next_wanted(view) == ("a1", "b1", "c2")
 
 
 def test_the_zone_with_the_fewest_seats_comes_first():
-    view = selection_view(["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], gone=["c1"])
+    view = selection_view(
+        ["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], unreachable=["c1"]
+    )
     assert next_wanted(view) == ("a1", "b1", "c2")
 
 
