--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -5,9 +5,11 @@
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
 
-def selection_view(voter_vms, reachable, unreachable=(), size=3):
+def selection_view(voter_vms, reachable, unreachable=(), voter_count=3):
     candidates = tuple(Candidate(vm, ZONES[vm]) for vm in reachable)
-    return SeatsView("a1", tuple(voter_vms), candidates, frozenset(unreachable), size)
+    return SeatsView(
+        "a1", tuple(voter_vms), candidates, frozenset(unreachable), voter_count
+    )
 
 
 def test_as_many_voters_as_outlive_the_losses():
@@ -44,9 +46,12 @@
 
 def test_seats_grow_to_the_size_at_once():
     present = ["a1", "a2", "b1", "b2", "c1", "c2"]
-    voter_vms = next_wanted(selection_view(["a1", "b1", "c1"], present, size=5))
+    voter_vms = next_wanted(selection_view(["a1", "b1", "c1"], present, voter_count=5))
     assert voter_vms == ("a1", "a2", "b1", "b2", "c1")
 
 
 def test_seats_do_not_grow_while_too_few_are_there():
-    assert next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "a2"], size=5)) is None
+    assert (
+        next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "a2"], voter_count=5))
+        is None
+    )
