--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -45,8 +45,10 @@
 
 
 def test_seats_grow_to_the_size_at_once():
-    present = ["a1", "a2", "b1", "b2", "c1", "c2"]
-    voter_vms = next_wanted(selection_view(["a1", "b1", "c1"], present, voter_count=5))
+    reachable = ["a1", "a2", "b1", "b2", "c1", "c2"]
+    voter_vms = next_wanted(
+        selection_view(["a1", "b1", "c1"], reachable, voter_count=5)
+    )
     assert voter_vms == ("a1", "a2", "b1", "b2", "c1")
 
 
