--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -12,7 +12,7 @@
     )
 
 
-def test_as_many_voters_as_outlive_the_losses():
+def test_voter_count_survives_the_tolerated_losses():
     assert [voters_for(losses) for losses in (0, 1, 2)] == [1, 3, 5]
 
 
