Rename test_nothing_moves_while_all_are_there to test_selection_is_kept_while_all_voter_vms_are_reachable

The name says what is checked.

Rename: libs/agreement/tests/test_seats.py test_nothing_moves_while_all_are_there test_selection_is_kept_while_all_voter_vms_are_reachable

--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -16,7 +16,7 @@
     assert [voters_for(losses) for losses in (0, 1, 2)] == [1, 3, 5]
 
 
-def test_nothing_moves_while_all_are_there():
+def test_selection_is_kept_while_all_voter_vms_are_reachable():
     assert (
         next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "b1", "c1", "c2"]))
         is None
