Rename test_a_seat_does_not_move_without_a_vm_to_take_it to test_unreachable_vm_is_kept_without_a_replacement

The name says what is checked.

Rename: libs/agreement/tests/test_seats.py test_a_seat_does_not_move_without_a_vm_to_take_it test_unreachable_vm_is_kept_without_a_replacement

--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -23,7 +23,7 @@
     )
 
 
-def test_a_seat_does_not_move_without_a_vm_to_take_it():
+def test_unreachable_vm_is_kept_without_a_replacement():
     assert (
         next_wanted(
             selection_view(["a1", "b1", "c1"], ["a1", "b1"], unreachable=["c1"])
