Rename test_a_new_vm_takes_the_seat_of_one_that_is_gone to test_reachable_vm_replaces_an_unreachable_one

The name says what is checked.

Rename: libs/agreement/tests/test_seats.py test_a_new_vm_takes_the_seat_of_one_that_is_gone test_reachable_vm_replaces_an_unreachable_one

--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -32,7 +32,7 @@
     )
 
 
-def test_a_new_vm_takes_the_seat_of_one_that_is_gone():
+def test_reachable_vm_replaces_an_unreachable_one():
     view = selection_view(["a1", "b1", "c1"], ["a1", "b1", "c2"], unreachable=["c1"])
     assert next_wanted(view) == ("a1", "b1", "c2")
 
