Rename test_the_zone_with_the_fewest_seats_comes_first to test_zone_with_fewest_voter_vms_is_preferred

The name says what is checked.

Rename: libs/agreement/tests/test_seats.py test_the_zone_with_the_fewest_seats_comes_first test_zone_with_fewest_voter_vms_is_preferred

--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -37,7 +37,7 @@
     assert next_wanted(view) == ("a1", "b1", "c2")
 
 
-def test_the_zone_with_the_fewest_seats_comes_first():
+def test_zone_with_fewest_voter_vms_is_preferred():
     view = selection_view(
         ["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], unreachable=["c1"]
     )
