Rename test_seats_grow_to_the_size_at_once to test_selection_grows_to_the_voter_count_in_one_step

The name says what is checked.

Rename: libs/agreement/tests/test_seats.py test_seats_grow_to_the_size_at_once test_selection_grows_to_the_voter_count_in_one_step

--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -44,7 +44,7 @@
     assert next_wanted(view) == ("a1", "b1", "c2")
 
 
-def test_seats_grow_to_the_size_at_once():
+def test_selection_grows_to_the_voter_count_in_one_step():
     reachable = ["a1", "a2", "b1", "b2", "c1", "c2"]
     voter_vms = next_wanted(
         selection_view(["a1", "b1", "c1"], reachable, voter_count=5)
