Rename test_seats_do_not_grow_while_too_few_are_there to test_selection_does_not_grow_with_too_few_reachable_vms

The name says what is checked.

Rename: libs/agreement/tests/test_seats.py test_seats_do_not_grow_while_too_few_are_there test_selection_does_not_grow_with_too_few_reachable_vms

--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -52,7 +52,7 @@
     assert voter_vms == ("a1", "a2", "b1", "b2", "c1")
 
 
-def test_seats_do_not_grow_while_too_few_are_there():
+def test_selection_does_not_grow_with_too_few_reachable_vms():
     assert (
         next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "a2"], voter_count=5))
         is None
