--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -10,89 +10,89 @@
 ABC = ("a", "b", "c")
 
 
-def view(live, joining=(), caught_up=()):
+def membership_view(live, joining=(), caught_up=()):
     return MembershipView(A, joining, frozenset(live), frozenset(caught_up))
 
 
 CASES = {
     "nothing to do": (
         Configuration(ABC, (A, B, C)),
-        view({A, B, C}),
+        membership_view({A, B, C}),
         None,
     ),
     "a newcomer learns first": (
         Configuration(ABC, (A,)),
-        view({A}, joining=(B,)),
+        membership_view({A}, joining=(B,)),
         Configuration(ABC, (A,), (B,)),
     ),
     "a stranger is not let in": (
         Configuration(ABC, (A, B, C)),
-        view({A, B, C}, joining=(D,)),
+        membership_view({A, B, C}, joining=(D,)),
         None,
     ),
     "a learner that is behind waits": (
         Configuration(ABC, (A,), (B,)),
-        view({A, B}),
+        membership_view({A, B}),
         None,
     ),
     "a learner that has caught up votes": (
         Configuration(ABC, (A,), (B,)),
-        view({A, B}, caught_up={B}),
+        membership_view({A, B}, caught_up={B}),
         Configuration(ABC, (A, B)),
     ),
     "a lost folder stays until its successor is ready": (
         Configuration(ABC, (A, B, C), (C2,)),
-        view({A, B, C2}),
+        membership_view({A, B, C2}),
         None,
     ),
     "a lost folder goes first": (
         Configuration(ABC, (A, B, C), (C2,)),
-        view({A, B, C2}, caught_up={C2}),
+        membership_view({A, B, C2}, caught_up={C2}),
         Configuration(ABC, (A, B), (C2,)),
     ),
     "then its successor votes": (
         Configuration(ABC, (A, B), (C2,)),
-        view({A, B, C2}, caught_up={C2}),
+        membership_view({A, B, C2}, caught_up={C2}),
         Configuration(ABC, (A, B, C2)),
     ),
     "no voter goes when the rest has no majority that answers": (
         Configuration(ABC, (A, B, C), (C2,)),
-        view({A, C2}, caught_up={C2}),
+        membership_view({A, C2}, caught_up={C2}),
         None,
     ),
     "an old request to join does not push out a live voter": (
         Configuration(ABC, (A, B, C2)),
-        view({A, B, C2}, joining=(C,)),
+        membership_view({A, B, C2}, joining=(C,)),
         None,
     ),
     "a learner of a lost folder is dropped": (
         Configuration(ABC, (A, B), (C,)),
-        view({A, B}, joining=(C2,)),
+        membership_view({A, B}, joining=(C2,)),
         Configuration(ABC, (A, B)),
     ),
     "a live VM to be replaced goes last": (
         Configuration(("a", "b", "d"), (A, B, C), (D,)),
-        view({A, B, C, D}, caught_up={D}),
+        membership_view({A, B, C, D}, caught_up={D}),
         Configuration(("a", "b", "d"), (A, B, C, D)),
     ),
     "when its successor votes it goes": (
         Configuration(("a", "b", "d"), (A, B, C, D)),
-        view({A, B, C, D}),
+        membership_view({A, B, C, D}),
         Configuration(("a", "b", "d"), (A, B, D)),
     ),
     "a silent VM to be replaced stays until its successor votes": (
         Configuration(("a", "b", "d"), (A, B, C), (D,)),
-        view({A, B, D}, caught_up={D}),
+        membership_view({A, B, D}, caught_up={D}),
         Configuration(("a", "b", "d"), (A, B, C, D)),
     ),
     "then the silent VM goes": (
         Configuration(("a", "b", "d"), (A, B, C, D)),
-        view({A, B, D}),
+        membership_view({A, B, D}),
         Configuration(("a", "b", "d"), (A, B, D)),
     ),
     "a leader that is not wanted goes last of all": (
         Configuration(("b",), (A, B, C)),
-        view({A, B, C}),
+        membership_view({A, B, C}),
         Configuration(("b",), (A, B)),
     ),
 }
