--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -10,8 +10,8 @@
 ABC = ("a", "b", "c")
 
 
-def membership_view(live, joining=(), caught_up=()):
-    return MembershipView(A, joining, frozenset(live), frozenset(caught_up))
+def membership_view(live_members, joining=(), caught_up=()):
+    return MembershipView(A, joining, frozenset(live_members), frozenset(caught_up))
 
 
 CASES = {
