--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -10,8 +10,10 @@
 ABC = ("a", "b", "c")
 
 
-def membership_view(live_members, joining=(), caught_up=()):
-    return MembershipView(A, joining, frozenset(live_members), frozenset(caught_up))
+def membership_view(live_members, join_requests=(), caught_up=()):
+    return MembershipView(
+        A, join_requests, frozenset(live_members), frozenset(caught_up)
+    )
 
 
 CASES = {
@@ -22,12 +24,12 @@
     ),
     "a newcomer learns first": (
         Configuration(ABC, (A,)),
-        membership_view({A}, joining=(B,)),
+        membership_view({A}, join_requests=(B,)),
         Configuration(ABC, (A,), (B,)),
     ),
     "a stranger is not let in": (
         Configuration(ABC, (A, B, C)),
-        membership_view({A, B, C}, joining=(D,)),
+        membership_view({A, B, C}, join_requests=(D,)),
         None,
     ),
     "a learner that is behind waits": (
@@ -62,12 +64,12 @@
     ),
     "an old request to join does not push out a live voter": (
         Configuration(ABC, (A, B, C2)),
-        membership_view({A, B, C2}, joining=(C,)),
+        membership_view({A, B, C2}, join_requests=(C,)),
         None,
     ),
     "a learner of a lost folder is dropped": (
         Configuration(ABC, (A, B), (C,)),
-        membership_view({A, B}, joining=(C2,)),
+        membership_view({A, B}, join_requests=(C2,)),
         Configuration(ABC, (A, B)),
     ),
     "a live VM to be replaced goes last": (
