Rename caught_up to caught_up_learners

The parameter holds learners.

Rename: libs/agreement/tests/test_membership.py caught_up caught_up_learners

--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -10,9 +10,9 @@
 ABC = ("a", "b", "c")
 
 
-def membership_view(live_members, join_requests=(), caught_up=()):
+def membership_view(live_members, join_requests=(), caught_up_learners=()):
     return MembershipView(
-        A, join_requests, frozenset(live_members), frozenset(caught_up)
+        A, join_requests, frozenset(live_members), frozenset(caught_up_learners)
     )
 
 
@@ -39,7 +39,7 @@
     ),
     "a learner that has caught up votes": (
         Configuration(ABC, (A,), (B,)),
-        membership_view({A, B}, caught_up={B}),
+        membership_view({A, B}, caught_up_learners={B}),
         Configuration(ABC, (A, B)),
     ),
     "a lost folder stays until its successor is ready": (
@@ -49,17 +49,17 @@
     ),
     "a lost folder goes first": (
         Configuration(ABC, (A, B, C), (C2,)),
-        membership_view({A, B, C2}, caught_up={C2}),
+        membership_view({A, B, C2}, caught_up_learners={C2}),
         Configuration(ABC, (A, B), (C2,)),
     ),
     "then its successor votes": (
         Configuration(ABC, (A, B), (C2,)),
-        membership_view({A, B, C2}, caught_up={C2}),
+        membership_view({A, B, C2}, caught_up_learners={C2}),
         Configuration(ABC, (A, B, C2)),
     ),
     "no voter goes when the rest has no majority that answers": (
         Configuration(ABC, (A, B, C), (C2,)),
-        membership_view({A, C2}, caught_up={C2}),
+        membership_view({A, C2}, caught_up_learners={C2}),
         None,
     ),
     "an old request to join does not push out a live voter": (
@@ -74,7 +74,7 @@
     ),
     "a live VM to be replaced goes last": (
         Configuration(("a", "b", "d"), (A, B, C), (D,)),
-        membership_view({A, B, C, D}, caught_up={D}),
+        membership_view({A, B, C, D}, caught_up_learners={D}),
         Configuration(("a", "b", "d"), (A, B, C, D)),
     ),
     "when its successor votes it goes": (
@@ -84,7 +84,7 @@
     ),
     "a silent VM to be replaced stays until its successor votes": (
         Configuration(("a", "b", "d"), (A, B, C), (D,)),
-        membership_view({A, B, D}, caught_up={D}),
+        membership_view({A, B, D}, caught_up_learners={D}),
         Configuration(("a", "b", "d"), (A, B, C, D)),
     ),
     "then the silent VM goes": (
