Rename C2 to C_REPLACEMENT

The constant is the replica that replaces C on its VM.

Rename: libs/agreement/tests/test_membership.py C2 C_REPLACEMENT

--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -6,7 +6,7 @@
 from kumquatmux_agreement.membership import MembershipView, next_configuration
 
 A, B, C, D, E = (ReplicaId(vm, "1") for vm in "abcde")
-C2 = ReplicaId("c", "2")
+C_REPLACEMENT = ReplicaId("c", "2")
 ABC = ("a", "b", "c")
 
 
@@ -43,33 +43,33 @@
         Configuration(ABC, (A, B)),
     ),
     "a lost folder stays until its successor is ready": (
-        Configuration(ABC, (A, B, C), (C2,)),
-        membership_view({A, B, C2}),
+        Configuration(ABC, (A, B, C), (C_REPLACEMENT,)),
+        membership_view({A, B, C_REPLACEMENT}),
         None,
     ),
     "a lost folder goes first": (
-        Configuration(ABC, (A, B, C), (C2,)),
-        membership_view({A, B, C2}, caught_up_learners={C2}),
-        Configuration(ABC, (A, B), (C2,)),
+        Configuration(ABC, (A, B, C), (C_REPLACEMENT,)),
+        membership_view({A, B, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
+        Configuration(ABC, (A, B), (C_REPLACEMENT,)),
     ),
     "then its successor votes": (
-        Configuration(ABC, (A, B), (C2,)),
-        membership_view({A, B, C2}, caught_up_learners={C2}),
-        Configuration(ABC, (A, B, C2)),
+        Configuration(ABC, (A, B), (C_REPLACEMENT,)),
+        membership_view({A, B, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
+        Configuration(ABC, (A, B, C_REPLACEMENT)),
     ),
     "no voter goes when the rest has no majority that answers": (
-        Configuration(ABC, (A, B, C), (C2,)),
-        membership_view({A, C2}, caught_up_learners={C2}),
+        Configuration(ABC, (A, B, C), (C_REPLACEMENT,)),
+        membership_view({A, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
         None,
     ),
     "an old request to join does not push out a live voter": (
-        Configuration(ABC, (A, B, C2)),
-        membership_view({A, B, C2}, join_requests=(C,)),
+        Configuration(ABC, (A, B, C_REPLACEMENT)),
+        membership_view({A, B, C_REPLACEMENT}, join_requests=(C,)),
         None,
     ),
     "a learner of a lost folder is dropped": (
         Configuration(ABC, (A, B), (C,)),
-        membership_view({A, B}, join_requests=(C2,)),
+        membership_view({A, B}, join_requests=(C_REPLACEMENT,)),
         Configuration(ABC, (A, B)),
     ),
     "a live VM to be replaced goes last": (
