--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -7,7 +7,7 @@
 
 A, B, C, D, E = (ReplicaId(vm, "1") for vm in "abcde")
 C_REPLACEMENT = ReplicaId("c", "2")
-ABC = ("a", "b", "c")
+VMS_ABC = ("a", "b", "c")
 
 
 def membership_view(live_members, join_requests=(), caught_up_learners=()):
@@ -18,59 +18,59 @@
 
 CASES = {
     "nothing to do": (
-        Configuration(ABC, (A, B, C)),
+        Configuration(VMS_ABC, (A, B, C)),
         membership_view({A, B, C}),
         None,
     ),
     "a newcomer learns first": (
-        Configuration(ABC, (A,)),
+        Configuration(VMS_ABC, (A,)),
         membership_view({A}, join_requests=(B,)),
-        Configuration(ABC, (A,), (B,)),
+        Configuration(VMS_ABC, (A,), (B,)),
     ),
     "a stranger is not let in": (
-        Configuration(ABC, (A, B, C)),
+        Configuration(VMS_ABC, (A, B, C)),
         membership_view({A, B, C}, join_requests=(D,)),
         None,
     ),
     "a learner that is behind waits": (
-        Configuration(ABC, (A,), (B,)),
+        Configuration(VMS_ABC, (A,), (B,)),
         membership_view({A, B}),
         None,
     ),
     "a learner that has caught up votes": (
-        Configuration(ABC, (A,), (B,)),
+        Configuration(VMS_ABC, (A,), (B,)),
         membership_view({A, B}, caught_up_learners={B}),
-        Configuration(ABC, (A, B)),
+        Configuration(VMS_ABC, (A, B)),
     ),
     "a lost folder stays until its successor is ready": (
-        Configuration(ABC, (A, B, C), (C_REPLACEMENT,)),
+        Configuration(VMS_ABC, (A, B, C), (C_REPLACEMENT,)),
         membership_view({A, B, C_REPLACEMENT}),
         None,
     ),
     "a lost folder goes first": (
-        Configuration(ABC, (A, B, C), (C_REPLACEMENT,)),
+        Configuration(VMS_ABC, (A, B, C), (C_REPLACEMENT,)),
         membership_view({A, B, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
-        Configuration(ABC, (A, B), (C_REPLACEMENT,)),
+        Configuration(VMS_ABC, (A, B), (C_REPLACEMENT,)),
     ),
     "then its successor votes": (
-        Configuration(ABC, (A, B), (C_REPLACEMENT,)),
+        Configuration(VMS_ABC, (A, B), (C_REPLACEMENT,)),
         membership_view({A, B, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
-        Configuration(ABC, (A, B, C_REPLACEMENT)),
+        Configuration(VMS_ABC, (A, B, C_REPLACEMENT)),
     ),
     "no voter goes when the rest has no majority that answers": (
-        Configuration(ABC, (A, B, C), (C_REPLACEMENT,)),
+        Configuration(VMS_ABC, (A, B, C), (C_REPLACEMENT,)),
         membership_view({A, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
         None,
     ),
     "an old request to join does not push out a live voter": (
-        Configuration(ABC, (A, B, C_REPLACEMENT)),
+        Configuration(VMS_ABC, (A, B, C_REPLACEMENT)),
         membership_view({A, B, C_REPLACEMENT}, join_requests=(C,)),
         None,
     ),
     "a learner of a lost folder is dropped": (
-        Configuration(ABC, (A, B), (C,)),
+        Configuration(VMS_ABC, (A, B), (C,)),
         membership_view({A, B}, join_requests=(C_REPLACEMENT,)),
-        Configuration(ABC, (A, B)),
+        Configuration(VMS_ABC, (A, B)),
     ),
     "a live VM to be replaced goes last": (
         Configuration(("a", "b", "d"), (A, B, C), (D,)),
@@ -119,9 +119,9 @@
     ("vms", "voters", "quorum", "ready"),
     [
         (("a",), (A,), 1, True),
-        (ABC, (A,), 1, False),
-        (ABC, (A, B), 2, True),
-        (ABC, (A, B, C), 2, True),
+        (VMS_ABC, (A,), 1, False),
+        (VMS_ABC, (A, B), 2, True),
+        (VMS_ABC, (A, B, C), 2, True),
         (tuple("abcde"), (A, B, C), 3, True),
         (tuple("abcde"), (A, B, C, D), 3, True),
         (tuple("abcde"), (A, B, C, D, E), 3, True),
