--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -16,7 +16,7 @@
     )
 
 
-CASES = {
+MEMBERSHIP_STEPS = {
     "nothing to do": (
         Configuration(VMS_ABC, (A, B, C)),
         membership_view({A, B, C}),
@@ -100,15 +100,15 @@
 }
 
 
-@pytest.mark.parametrize("name", CASES)
+@pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
 def test_steps(name):
-    current, seen, expected = CASES[name]
+    current, seen, expected = MEMBERSHIP_STEPS[name]
     assert next_configuration(current, seen) == expected
 
 
-@pytest.mark.parametrize("name", CASES)
+@pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
 def test_quorums_of_two_configurations_in_a_row_overlap(name):
-    current, _, following = CASES[name]
+    current, _, following = MEMBERSHIP_STEPS[name]
     if following is None:
         return
     union = set(current.voters) | set(following.voters)
