--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -101,7 +101,7 @@
 
 
 @pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
-def test_steps(name):
+def test_next_configuration(name):
     current, seen, expected = MEMBERSHIP_STEPS[name]
     assert next_configuration(current, seen) == expected
 
