--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -102,8 +102,8 @@
 
 @pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
 def test_next_configuration(name):
-    current, seen, expected = MEMBERSHIP_STEPS[name]
-    assert next_configuration(current, seen) == expected
+    current, view, expected = MEMBERSHIP_STEPS[name]
+    assert next_configuration(current, view) == expected
 
 
 @pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
