Rename test_quorums_of_two_configurations_in_a_row_overlap to test_quorums_of_consecutive_configurations_overlap

A shorter name.

Rename: libs/agreement/tests/test_membership.py test_quorums_of_two_configurations_in_a_row_overlap test_quorums_of_consecutive_configurations_overlap

--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -107,7 +107,7 @@
 
 
 @pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
-def test_quorums_of_two_configurations_in_a_row_overlap(name):
+def test_quorums_of_consecutive_configurations_overlap(name):
     current, _, following = MEMBERSHIP_STEPS[name]
     if following is None:
         return
