--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -23,7 +23,7 @@
 from kumquatmux_agreement.settings import ReplicaSettings
 
 VMS = ("a", "b", "c")
-IDS = tuple(ReplicaId(vm, "1") for vm in VMS)
+REPLICA_IDS = tuple(ReplicaId(vm, "1") for vm in VMS)
 ELECTION_S = 0.6
 START_S = 0.03
 TICK_S = 0.05
@@ -35,14 +35,14 @@
 def replica(number, random, last_term=4):
     settings = ReplicaSettings(
         "lab",
-        IDS[number],
+        REPLICA_IDS[number],
         VMS,
         heartbeat_s=0.12,
         lease_share=0.0,
         start_timeout_s=START_S,
         election_timeout_s=ELECTION_S,
     )
-    snapshot = Snapshot(0, 0, Configuration(VMS, IDS), b"")
+    snapshot = Snapshot(0, 0, Configuration(VMS, REPLICA_IDS), b"")
     entries = (Entry(1, last_term, EntryKind.DATA, b"x"),)
     return Replica(
         settings, DurableState(VoteRecord(4, None), snapshot, entries), random
@@ -112,10 +112,16 @@
 
 
 def test_of_two_candidates_with_equal_logs_one_wins_its_trial():
-    assert granted(on_trial(0).handle(ask(IDS[0], IDS[1]), 100.31)) == [False]
-    assert granted(on_trial(1).handle(ask(IDS[1], IDS[0]), 100.31)) == [True]
+    assert granted(on_trial(0).handle(ask(REPLICA_IDS[0], REPLICA_IDS[1]), 100.31)) == [
+        False
+    ]
+    assert granted(on_trial(1).handle(ask(REPLICA_IDS[1], REPLICA_IDS[0]), 100.31)) == [
+        True
+    ]
 
 
 def test_a_candidate_gives_way_to_one_with_a_longer_log():
     made = on_trial(0)
-    assert granted(made.handle(ask(IDS[0], IDS[1], last_term=5), 100.31)) == [True]
+    assert granted(
+        made.handle(ask(REPLICA_IDS[0], REPLICA_IDS[1], last_term=5), 100.31)
+    ) == [True]
