Rename ELECTION_S to ELECTION_TIMEOUT_S

The constant is the election timeout.

Rename: libs/agreement/tests/test_elections.py ELECTION_S ELECTION_TIMEOUT_S

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -24,7 +24,7 @@
 
 VMS = ("a", "b", "c")
 REPLICA_IDS = tuple(ReplicaId(vm, "1") for vm in VMS)
-ELECTION_S = 0.6
+ELECTION_TIMEOUT_S = 0.6
 START_S = 0.03
 TICK_S = 0.05
 HOP_S = 0.005
@@ -40,7 +40,7 @@
         heartbeat_s=0.12,
         lease_share=0.0,
         start_timeout_s=START_S,
-        election_timeout_s=ELECTION_S,
+        election_timeout_s=ELECTION_TIMEOUT_S,
     )
     snapshot = Snapshot(0, 0, Configuration(VMS, REPLICA_IDS), b"")
     entries = (Entry(1, last_term, EntryKind.DATA, b"x"),)
@@ -91,7 +91,7 @@
 @pytest.mark.parametrize("alive", [(0, 1, 2), (0, 1), (0, 2), (1, 2)])
 def test_a_start_of_all_does_not_wait_out_an_election_timeout(alive):
     took = [Start(alive, seed).committed_at() for seed in range(100)]
-    assert max(took) < STARTS_S + ELECTION_S
+    assert max(took) < STARTS_S + ELECTION_TIMEOUT_S
 
 
 def ask(to, sender, last_term=4):
