Rename START_S to START_TIMEOUT_S

The constant is the start timeout.

Rename: libs/agreement/tests/test_elections.py START_S START_TIMEOUT_S

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -25,7 +25,7 @@
 VMS = ("a", "b", "c")
 REPLICA_IDS = tuple(ReplicaId(vm, "1") for vm in VMS)
 ELECTION_TIMEOUT_S = 0.6
-START_S = 0.03
+START_TIMEOUT_S = 0.03
 TICK_S = 0.05
 HOP_S = 0.005
 STARTS_S = 0.1
@@ -39,7 +39,7 @@
         VMS,
         heartbeat_s=0.12,
         lease_share=0.0,
-        start_timeout_s=START_S,
+        start_timeout_s=START_TIMEOUT_S,
         election_timeout_s=ELECTION_TIMEOUT_S,
     )
     snapshot = Snapshot(0, 0, Configuration(VMS, REPLICA_IDS), b"")
