Rename TICK_S to TICK_INTERVAL_S

The constant is the interval between ticks.

Rename: libs/agreement/tests/test_elections.py TICK_S TICK_INTERVAL_S

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -26,7 +26,7 @@
 REPLICA_IDS = tuple(ReplicaId(vm, "1") for vm in VMS)
 ELECTION_TIMEOUT_S = 0.6
 START_TIMEOUT_S = 0.03
-TICK_S = 0.05
+TICK_INTERVAL_S = 0.05
 HOP_S = 0.005
 STARTS_S = 0.1
 """Time within which all processes start."""
@@ -68,7 +68,7 @@
         while True:
             now, _, vm, event = heapq.heappop(self.events)
             if isinstance(event, Tick):
-                self._at(now + TICK_S, vm, event)
+                self._at(now + TICK_INTERVAL_S, vm, event)
             if self._give(vm, event, now):
                 return now
             assert now < 60, "no leader"
