--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -27,7 +27,7 @@
 ELECTION_TIMEOUT_S = 0.6
 START_TIMEOUT_S = 0.03
 TICK_INTERVAL_S = 0.05
-HOP_S = 0.005
+MESSAGE_DELAY_S = 0.005
 STARTS_S = 0.1
 """Time within which all processes start."""
 
@@ -81,7 +81,7 @@
                 done = Persisted(action.number)
                 waiting += self.replicas[vm].handle(done, now)
             elif isinstance(action, Send) and action.to in self.replicas:
-                hop = HOP_S * (1 + 0.3 * self.random.random())
+                hop = MESSAGE_DELAY_S * (1 + 0.3 * self.random.random())
                 self._at(now + hop, action.to, Received(action.message))
             elif isinstance(action, Apply):
                 return True
