--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -32,7 +32,7 @@
 """Time within which all processes start."""
 
 
-def replica(number, random, last_term=4):
+def new_replica(number, random, last_term=4):
     settings = ReplicaSettings(
         "lab",
         REPLICA_IDS[number],
@@ -56,7 +56,7 @@
         self.random = Random(seed)
         self.numbers = count()
         self.events = []
-        self.replicas = {VMS[one]: replica(one, self.random) for one in alive}
+        self.replicas = {VMS[one]: new_replica(one, self.random) for one in alive}
         for vm in self.replicas:
             self._at(self.random.random() * START_WINDOW_S, vm, Tick())
 
@@ -104,7 +104,7 @@
 
 
 def on_trial(number):
-    made = replica(number, Random(1))
+    made = new_replica(number, Random(1))
     made.handle(Tick(), 100.0)
     made.handle(Tick(), 100.3)
     assert made.core.election is not None
