Rename number to replica_number

The parameter is the number of the replica.

Rename: libs/agreement/tests/test_elections.py number replica_number

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -32,10 +32,10 @@
 """Time within which all processes start."""
 
 
-def new_replica(number, random, last_term=4):
+def new_replica(replica_number, random, last_term=4):
     settings = ReplicaSettings(
         "lab",
-        REPLICA_IDS[number],
+        REPLICA_IDS[replica_number],
         VMS,
         heartbeat_s=0.12,
         lease_share=0.0,
