Rename Start to ClusterSimulation

The class simulates a cluster that starts.

Rename: libs/agreement/tests/test_elections.py Start ClusterSimulation

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -49,7 +49,7 @@
     )
 
 
-class Start:
+class ClusterSimulation:
     """Replicas that start at about the same time; their disks sync at once."""
 
     def __init__(self, alive, seed):
@@ -90,7 +90,7 @@
 
 @pytest.mark.parametrize("alive", [(0, 1, 2), (0, 1), (0, 2), (1, 2)])
 def test_a_start_of_all_does_not_wait_out_an_election_timeout(alive):
-    took = [Start(alive, seed).committed_at() for seed in range(100)]
+    took = [ClusterSimulation(alive, seed).committed_at() for seed in range(100)]
     assert max(took) < START_WINDOW_S + ELECTION_TIMEOUT_S
 
 
