--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -52,11 +52,11 @@
 class ClusterSimulation:
     """Replicas that start at about the same time; their disks sync at once."""
 
-    def __init__(self, alive, seed):
+    def __init__(self, started, seed):
         self.random = Random(seed)
         self.numbers = count()
         self.events = []
-        self.replicas = {VMS[one]: new_replica(one, self.random) for one in alive}
+        self.replicas = {VMS[one]: new_replica(one, self.random) for one in started}
         for vm in self.replicas:
             self._at(self.random.random() * START_WINDOW_S, vm, Tick())
 
