--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -56,7 +56,9 @@
         self.random = Random(seed)
         self.numbers = count()
         self.events = []
-        self.replicas = {VMS[one]: new_replica(one, self.random) for one in started}
+        self.replicas = {
+            VMS[number]: new_replica(number, self.random) for number in started
+        }
         for vm in self.replicas:
             self._at(self.random.random() * START_WINDOW_S, vm, Tick())
 
