--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -54,7 +54,7 @@
 
     def __init__(self, started, seed):
         self.random = Random(seed)
-        self.numbers = count()
+        self.event_numbers = count()
         self.events = []
         self.replicas = {
             VMS[number]: new_replica(number, self.random) for number in started
@@ -63,7 +63,7 @@
             self._at(self.random.random() * START_WINDOW_S, vm, Tick())
 
     def _at(self, when, vm, event):
-        heapq.heappush(self.events, (when, next(self.numbers), vm, event))
+        heapq.heappush(self.events, (when, next(self.event_numbers), vm, event))
 
     def committed_at(self):
         """Return when the first replica applies what was in the log."""
