--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -60,9 +60,9 @@
             VMS[number]: new_replica(number, self.random) for number in started
         }
         for vm in self.replicas:
-            self._at(self.random.random() * START_WINDOW_S, vm, Tick())
+            self._schedule(self.random.random() * START_WINDOW_S, vm, Tick())
 
-    def _at(self, when, vm, event):
+    def _schedule(self, when, vm, event):
         heapq.heappush(self.events, (when, next(self.event_numbers), vm, event))
 
     def committed_at(self):
@@ -70,7 +70,7 @@
         while True:
             now, _, vm, event = heapq.heappop(self.events)
             if isinstance(event, Tick):
-                self._at(now + TICK_INTERVAL_S, vm, event)
+                self._schedule(now + TICK_INTERVAL_S, vm, event)
             if self._give(vm, event, now):
                 return now
             assert now < 60, "no leader"
@@ -84,7 +84,7 @@
                 waiting += self.replicas[vm].handle(done, now)
             elif isinstance(action, Send) and action.to in self.replicas:
                 hop = MESSAGE_DELAY_S * (1 + 0.3 * self.random.random())
-                self._at(now + hop, action.to, Received(action.message))
+                self._schedule(now + hop, action.to, Received(action.message))
             elif isinstance(action, Apply):
                 return True
         return False
