--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -62,8 +62,8 @@
         for vm in self.replicas:
             self._schedule(self.random.random() * START_WINDOW_S, vm, Tick())
 
-    def _schedule(self, when, vm, event):
-        heapq.heappush(self.events, (when, next(self.event_numbers), vm, event))
+    def _schedule(self, due_at, vm, event):
+        heapq.heappush(self.events, (due_at, next(self.event_numbers), vm, event))
 
     def committed_at(self):
         """Return when the first replica applies what was in the log."""
