--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -71,11 +71,11 @@
             now, _, vm, event = heapq.heappop(self.events)
             if isinstance(event, Tick):
                 self._schedule(now + TICK_INTERVAL_S, vm, event)
-            if self._give(vm, event, now):
+            if self._handle(vm, event, now):
                 return now
             assert now < 60, "no leader"
 
-    def _give(self, vm, event, now):
+    def _handle(self, vm, event, now):
         waiting = list(self.replicas[vm].handle(event, now))
         while waiting:
             action = waiting.pop(0)
