--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -76,12 +76,12 @@
             assert now < 60, "no leader"
 
     def _handle(self, vm, event, now):
-        waiting = list(self.replicas[vm].handle(event, now))
-        while waiting:
-            action = waiting.pop(0)
+        pending_actions = list(self.replicas[vm].handle(event, now))
+        while pending_actions:
+            action = pending_actions.pop(0)
             if isinstance(action, Persist):
                 done = Persisted(action.number)
-                waiting += self.replicas[vm].handle(done, now)
+                pending_actions += self.replicas[vm].handle(done, now)
             elif isinstance(action, Send) and action.to in self.replicas:
                 hop = MESSAGE_DELAY_S * (1 + 0.3 * self.random.random())
                 self._schedule(now + hop, action.to, Received(action.message))
