--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -80,8 +80,8 @@
         while pending_actions:
             action = pending_actions.pop(0)
             if isinstance(action, Persist):
-                done = Persisted(action.number)
-                pending_actions += self.replicas[vm].handle(done, now)
+                persisted = Persisted(action.number)
+                pending_actions += self.replicas[vm].handle(persisted, now)
             elif isinstance(action, Send) and action.to in self.replicas:
                 hop = MESSAGE_DELAY_S * (1 + 0.3 * self.random.random())
                 self._schedule(now + hop, action.to, Received(action.message))
