--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -83,8 +83,8 @@
                 persisted = Persisted(action.number)
                 pending_actions += self.replicas[vm].handle(persisted, now)
             elif isinstance(action, Send) and action.to in self.replicas:
-                hop = MESSAGE_DELAY_S * (1 + 0.3 * self.random.random())
-                self._schedule(now + hop, action.to, Received(action.message))
+                delay_s = MESSAGE_DELAY_S * (1 + 0.3 * self.random.random())
+                self._schedule(now + delay_s, action.to, Received(action.message))
             elif isinstance(action, Apply):
                 return True
         return False
