Rename took to commit_times

The variable holds the times of the first commits.

Rename: libs/agreement/tests/test_elections.py took commit_times

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -92,8 +92,10 @@
 
 @pytest.mark.parametrize("alive", [(0, 1, 2), (0, 1), (0, 2), (1, 2)])
 def test_a_start_of_all_does_not_wait_out_an_election_timeout(started):
-    took = [ClusterSimulation(started, seed).run_until_commit() for seed in range(100)]
-    assert max(took) < START_WINDOW_S + ELECTION_TIMEOUT_S
+    commit_times = [
+        ClusterSimulation(started, seed).run_until_commit() for seed in range(100)
+    ]
+    assert max(commit_times) < START_WINDOW_S + ELECTION_TIMEOUT_S
 
 
 def ask(to, sender, last_term=4):
