Rename test_a_start_of_all_does_not_wait_out_an_election_timeout to test_simultaneous_start_commits_within_one_election_timeout

The name says what is checked.

Rename: libs/agreement/tests/test_elections.py test_a_start_of_all_does_not_wait_out_an_election_timeout test_simultaneous_start_commits_within_one_election_timeout

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -91,7 +91,7 @@
 
 
 @pytest.mark.parametrize("alive", [(0, 1, 2), (0, 1), (0, 2), (1, 2)])
-def test_a_start_of_all_does_not_wait_out_an_election_timeout(started):
+def test_simultaneous_start_commits_within_one_election_timeout(started):
     commit_times = [
         ClusterSimulation(started, seed).run_until_commit() for seed in range(100)
     ]
