--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -98,7 +98,7 @@
     assert max(commit_times) < START_WINDOW_S + ELECTION_TIMEOUT_S
 
 
-def ask(to, sender, last_term=4):
+def pre_vote_request(to, sender, last_term=4):
     return Received(VoteRequest("lab", sender, to, 5, 1, last_term, True, False))
 
 
@@ -116,16 +116,18 @@
 
 
 def test_of_two_candidates_with_equal_logs_one_wins_its_trial():
-    assert granted(on_trial(0).handle(ask(REPLICA_IDS[0], REPLICA_IDS[1]), 100.31)) == [
-        False
-    ]
-    assert granted(on_trial(1).handle(ask(REPLICA_IDS[1], REPLICA_IDS[0]), 100.31)) == [
-        True
-    ]
+    assert granted(
+        on_trial(0).handle(pre_vote_request(REPLICA_IDS[0], REPLICA_IDS[1]), 100.31)
+    ) == [False]
+    assert granted(
+        on_trial(1).handle(pre_vote_request(REPLICA_IDS[1], REPLICA_IDS[0]), 100.31)
+    ) == [True]
 
 
 def test_a_candidate_gives_way_to_one_with_a_longer_log():
     made = on_trial(0)
     assert granted(
-        made.handle(ask(REPLICA_IDS[0], REPLICA_IDS[1], last_term=5), 100.31)
+        made.handle(
+            pre_vote_request(REPLICA_IDS[0], REPLICA_IDS[1], last_term=5), 100.31
+        )
     ) == [True]
