--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -102,7 +102,7 @@
     return Received(VoteRequest("lab", sender, to, 5, 1, last_term, True, False))
 
 
-def granted(actions):
+def granted_votes(actions):
     answers = [one.message for one in actions if isinstance(one, Send)]
     return [one.is_granted for one in answers if isinstance(one, VoteReply)]
 
@@ -116,17 +116,17 @@
 
 
 def test_of_two_candidates_with_equal_logs_one_wins_its_trial():
-    assert granted(
+    assert granted_votes(
         on_trial(0).handle(pre_vote_request(REPLICA_IDS[0], REPLICA_IDS[1]), 100.31)
     ) == [False]
-    assert granted(
+    assert granted_votes(
         on_trial(1).handle(pre_vote_request(REPLICA_IDS[1], REPLICA_IDS[0]), 100.31)
     ) == [True]
 
 
 def test_a_candidate_gives_way_to_one_with_a_longer_log():
     made = on_trial(0)
-    assert granted(
+    assert granted_votes(
         made.handle(
             pre_vote_request(REPLICA_IDS[0], REPLICA_IDS[1], last_term=5), 100.31
         )
