--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -103,8 +103,8 @@
 
 
 def granted_votes(actions):
-    answers = [one.message for one in actions if isinstance(one, Send)]
-    return [one.is_granted for one in answers if isinstance(one, VoteReply)]
+    messages = [one.message for one in actions if isinstance(one, Send)]
+    return [one.is_granted for one in messages if isinstance(one, VoteReply)]
 
 
 def on_trial(number):
