--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -103,7 +103,7 @@
 
 
 def granted_votes(actions):
-    messages = [one.message for one in actions if isinstance(one, Send)]
+    messages = [action.message for action in actions if isinstance(one, Send)]
     return [one.is_granted for one in messages if isinstance(one, VoteReply)]
 
 
