--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -104,7 +104,7 @@
 
 def granted_votes(actions):
     messages = [action.message for action in actions if isinstance(one, Send)]
-    return [one.is_granted for one in messages if isinstance(one, VoteReply)]
+    return [message.is_granted for message in messages if isinstance(one, VoteReply)]
 
 
 def on_trial(number):
