--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -107,7 +107,7 @@
     return [message.is_granted for message in messages if isinstance(one, VoteReply)]
 
 
-def on_trial(number):
+def pre_vote_candidate(number):
     made = new_replica(number, Random(1))
     made.handle(Tick(), 100.0)
     made.handle(Tick(), 100.3)
@@ -117,15 +117,19 @@
 
 def test_of_two_candidates_with_equal_logs_one_wins_its_trial():
     assert granted_votes(
-        on_trial(0).handle(pre_vote_request(REPLICA_IDS[0], REPLICA_IDS[1]), 100.31)
+        pre_vote_candidate(0).handle(
+            pre_vote_request(REPLICA_IDS[0], REPLICA_IDS[1]), 100.31
+        )
     ) == [False]
     assert granted_votes(
-        on_trial(1).handle(pre_vote_request(REPLICA_IDS[1], REPLICA_IDS[0]), 100.31)
+        pre_vote_candidate(1).handle(
+            pre_vote_request(REPLICA_IDS[1], REPLICA_IDS[0]), 100.31
+        )
     ) == [True]
 
 
 def test_a_candidate_gives_way_to_one_with_a_longer_log():
-    made = on_trial(0)
+    made = pre_vote_candidate(0)
     assert granted_votes(
         made.handle(
             pre_vote_request(REPLICA_IDS[0], REPLICA_IDS[1], last_term=5), 100.31
