Rename number to replica_number

The parameter is the number of the replica.

Rename: libs/agreement/tests/test_elections.py number replica_number

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -107,8 +107,8 @@
     return [message.is_granted for message in messages if isinstance(one, VoteReply)]
 
 
-def pre_vote_candidate(number):
-    made = new_replica(number, Random(1))
+def pre_vote_candidate(replica_number):
+    made = new_replica(replica_number, Random(1))
     made.handle(Tick(), 100.0)
     made.handle(Tick(), 100.3)
     assert made.core.election is not None
