--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -108,11 +108,11 @@
 
 
 def pre_vote_candidate(replica_number):
-    made = new_replica(replica_number, Random(1))
-    made.handle(Tick(), 100.0)
-    made.handle(Tick(), 100.3)
-    assert made.core.election is not None
-    return made
+    candidate = new_replica(replica_number, Random(1))
+    candidate.handle(Tick(), 100.0)
+    candidate.handle(Tick(), 100.3)
+    assert candidate.core.election is not None
+    return candidate
 
 
 def test_of_two_candidates_with_equal_logs_one_wins_its_trial():
