--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -129,9 +129,9 @@
 
 
 def test_a_candidate_gives_way_to_one_with_a_longer_log():
-    made = pre_vote_candidate(0)
+    candidate = pre_vote_candidate(0)
     assert granted_votes(
-        made.handle(
+        candidate.handle(
             pre_vote_request(REPLICA_IDS[0], REPLICA_IDS[1], last_term=5), 100.31
         )
     ) == [True]
