Rename test_of_two_candidates_with_equal_logs_one_wins_its_trial to test_one_of_two_candidates_with_equal_logs_wins_its_pre_vote

Raft calls the trial a pre-vote.

Rename: libs/agreement/tests/test_elections.py test_of_two_candidates_with_equal_logs_one_wins_its_trial test_one_of_two_candidates_with_equal_logs_wins_its_pre_vote

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -115,7 +115,7 @@
     return candidate
 
 
-def test_of_two_candidates_with_equal_logs_one_wins_its_trial():
+def test_one_of_two_candidates_with_equal_logs_wins_its_pre_vote():
     assert granted_votes(
         pre_vote_candidate(0).handle(
             pre_vote_request(REPLICA_IDS[0], REPLICA_IDS[1]), 100.31
