Rename test_a_candidate_gives_way_to_one_with_a_longer_log to test_candidate_grants_pre_vote_to_a_more_complete_log

The name says what is checked.

Rename: libs/agreement/tests/test_elections.py test_a_candidate_gives_way_to_one_with_a_longer_log test_candidate_grants_pre_vote_to_a_more_complete_log

--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -128,7 +128,7 @@
     ) == [True]
 
 
-def test_a_candidate_gives_way_to_one_with_a_longer_log():
+def test_candidate_grants_pre_vote_to_a_more_complete_log():
     candidate = pre_vote_candidate(0)
     assert granted_votes(
         candidate.handle(
