--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -50,7 +50,7 @@
 
 VMS = ("a", "b", "c")
 A, B, C = (ReplicaId(vm, "1") for vm in VMS)
-THREE = Configuration(VMS, (A, B, C))
+THREE_VOTERS = Configuration(VMS, (A, B, C))
 DATA = EntryKind.DATA
 
 
@@ -58,7 +58,7 @@
     return Entry(index, term, DATA, data)
 
 
-def state(term=1, voted_for=None, entries=(), configuration=THREE):
+def state(term=1, voted_for=None, entries=(), configuration=THREE_VOTERS):
     snapshot = Snapshot(0, 0, configuration, b"")
     return DurableState(VoteRecord(term, voted_for), snapshot, tuple(entries))
 
@@ -140,10 +140,15 @@
         VoteRequest: ask_vote(),
         VoteReply: VoteReply("lab", A, B, 1, True, False),
         AppendRequest: append(
-            entries=(entry(1, 1), Entry(2, 1, EntryKind.CONFIGURATION, b"", THREE))
+            entries=(
+                entry(1, 1),
+                Entry(2, 1, EntryKind.CONFIGURATION, b"", THREE_VOTERS),
+            )
         ),
         AppendReply: AppendReply("lab", A, B, 1, True, 3, 4),
-        SnapshotChunk: SnapshotChunk("lab", A, B, 1, 9, 1, THREE, 0, 3, b"abc", 2),
+        SnapshotChunk: SnapshotChunk(
+            "lab", A, B, 1, 9, 1, THREE_VOTERS, 0, 3, b"abc", 2
+        ),
         SnapshotReply: SnapshotReply("lab", A, B, 1, 9, 3, 2),
         JoinRequest: JoinRequest("lab", A),
         StandNow: StandNow("lab", A, B, 1),
@@ -258,7 +263,7 @@
     [("", "lab/f1", True), ("f1", "lab/f1", True), ("f1", "lab/f2", False)],
 )
 def test_a_cluster_founded_again_under_the_same_name_is_another(mine, theirs, is_heard):
-    driver = Driver(restored=state(configuration=THREE._replace(origin=mine)))
+    driver = Driver(restored=state(configuration=THREE_VOTERS._replace(origin=mine)))
     driver.tick(2.5)
     driver.give(Received(append(cluster=theirs)))
     assert (driver.replica.core.term == 2) == is_heard
@@ -452,7 +457,7 @@
     follower = Driver(restored=joining_state())
     parts = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
     for offset, data in parts:
-        chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE, offset, 6, data, 1)
+        chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
         follower.give(Received(chunk))
     follower.sync()
     assert [one.received_bytes for one in follower.sent(SnapshotReply)] == [2, 2, 2, 4]
@@ -499,7 +504,7 @@
 
 
 def test_a_snapshot_on_its_way_outlasts_the_next_compaction():
-    restored = state()._replace(snapshot=Snapshot(5, 1, THREE, b"abcdef"))
+    restored = state()._replace(snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef"))
     driver = leader(restored=restored, chunk_bytes=2, keep_entries=0)
     driver.answer(C, index=1, matched=False)
     driver.give(Propose(b"x", "t"))
