--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -54,7 +54,7 @@
 DATA = EntryKind.DATA
 
 
-def entry(index, term, data=b"x"):
+def data_entry(index, term, data=b"x"):
     return Entry(index, term, DATA, data)
 
 
@@ -141,7 +141,7 @@
         VoteReply: VoteReply("lab", A, B, 1, True, False),
         AppendRequest: append(
             entries=(
-                entry(1, 1),
+                data_entry(1, 1),
                 Entry(2, 1, EntryKind.CONFIGURATION, b"", THREE_VOTERS),
             )
         ),
@@ -160,7 +160,7 @@
 
 def test_a_follower_acknowledges_only_what_is_synced():
     follower = Driver()
-    follower.give(Received(append(entries=(entry(1, 2),))))
+    follower.give(Received(append(entries=(data_entry(1, 2),))))
     assert follower.sent(AppendReply) == []
     follower.sync()
     assert follower.sent(AppendReply)[0].log_index == 1
@@ -199,14 +199,14 @@
         ("voted for the same", state(2, B), 2.5, ask_vote(term=2), True),
         (
             "shorter log",
-            state(entries=[entry(1, 1), entry(2, 1)]),
+            state(entries=[data_entry(1, 1), data_entry(2, 1)]),
             2.5,
             ask_vote(last=(1, 1)),
             False,
         ),
         (
             "longer log of an older term",
-            state(2, None, [entry(1, 2)]),
+            state(2, None, [data_entry(1, 2)]),
             2.5,
             ask_vote(term=3, last=(9, 1)),
             False,
@@ -295,7 +295,7 @@
 
 
 def test_an_entry_of_an_earlier_term_is_not_committed_by_counting():
-    restored = state(1, None, [entry(1, 1)])
+    restored = state(1, None, [data_entry(1, 1)])
     driver = Driver(restored=restored)
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
@@ -325,7 +325,7 @@
     driver.give(Propose(b"lost", "t"))
     driver.sync()
     last = driver.replica.core.log.last_index
-    won = entry(last, 9, b"won")
+    won = data_entry(last, 9, b"won")
     previous = (last - 1, driver.replica.core.log.term_at(last - 1))
     driver.give(Received(append(9, previous, (won,), last)))
     driver.sync()
