--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -58,7 +58,7 @@
     return Entry(index, term, DATA, data)
 
 
-def state(term=1, voted_for=None, entries=(), configuration=THREE_VOTERS):
+def make_durable_state(term=1, voted_for=None, entries=(), configuration=THREE_VOTERS):
     snapshot = Snapshot(0, 0, configuration, b"")
     return DurableState(VoteRecord(term, voted_for), snapshot, tuple(entries))
 
@@ -68,7 +68,7 @@
 
     def __init__(self, me=A, restored=None, **settings):
         options = ReplicaSettings("lab", me, VMS, **settings)
-        self.replica = Replica(options, restored or state(), Random(1))
+        self.replica = Replica(options, restored or make_durable_state(), Random(1))
         self.now = 100.0
         self.unsynced = []
         self.seen = []
@@ -181,7 +181,7 @@
     voter.give(Received(ask_vote(sender=B)))
     voter.sync()
     kept = [one.vote for one in voter.seen if isinstance(one, Persist) and one.vote]
-    again = Driver(restored=state()._replace(vote=kept[-1]))
+    again = Driver(restored=make_durable_state()._replace(vote=kept[-1]))
     again.tick(2.5)
     again.give(Received(ask_vote(sender=C)))
     again.sync()
@@ -191,22 +191,22 @@
 @pytest.mark.parametrize(
     ("name", "restored", "wait_s", "request_", "granted"),
     [
-        ("free", state(), 2.5, ask_vote(), True),
-        ("trial", state(), 2.5, ask_vote(trial=True), True),
-        ("just started", state(), 0.5, ask_vote(), False),
-        ("old term", state(term=5), 2.5, ask_vote(term=4), False),
-        ("voted for another", state(2, C), 2.5, ask_vote(term=2), False),
-        ("voted for the same", state(2, B), 2.5, ask_vote(term=2), True),
+        ("free", make_durable_state(), 2.5, ask_vote(), True),
+        ("trial", make_durable_state(), 2.5, ask_vote(trial=True), True),
+        ("just started", make_durable_state(), 0.5, ask_vote(), False),
+        ("old term", make_durable_state(term=5), 2.5, ask_vote(term=4), False),
+        ("voted for another", make_durable_state(2, C), 2.5, ask_vote(term=2), False),
+        ("voted for the same", make_durable_state(2, B), 2.5, ask_vote(term=2), True),
         (
             "shorter log",
-            state(entries=[data_entry(1, 1), data_entry(2, 1)]),
+            make_durable_state(entries=[data_entry(1, 1), data_entry(2, 1)]),
             2.5,
             ask_vote(last=(1, 1)),
             False,
         ),
         (
             "longer log of an older term",
-            state(2, None, [data_entry(1, 2)]),
+            make_durable_state(2, None, [data_entry(1, 2)]),
             2.5,
             ask_vote(term=3, last=(9, 1)),
             False,
@@ -263,7 +263,9 @@
     [("", "lab/f1", True), ("f1", "lab/f1", True), ("f1", "lab/f2", False)],
 )
 def test_a_cluster_founded_again_under_the_same_name_is_another(mine, theirs, is_heard):
-    driver = Driver(restored=state(configuration=THREE_VOTERS._replace(origin=mine)))
+    driver = Driver(
+        restored=make_durable_state(configuration=THREE_VOTERS._replace(origin=mine))
+    )
     driver.tick(2.5)
     driver.give(Received(append(cluster=theirs)))
     assert (driver.replica.core.term == 2) == is_heard
@@ -295,7 +297,7 @@
 
 
 def test_an_entry_of_an_earlier_term_is_not_committed_by_counting():
-    restored = state(1, None, [data_entry(1, 1)])
+    restored = make_durable_state(1, None, [data_entry(1, 1)])
     driver = Driver(restored=restored)
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
@@ -428,7 +430,7 @@
 
 def test_a_member_by_an_entry_that_was_never_committed_asks_again():
     learner = Configuration(VMS, (A, B), (C,))
-    driver = Driver(C, state(configuration=learner))
+    driver = Driver(C, make_durable_state(configuration=learner))
     driver.tick(5)
     assert driver.role() == Role.LEARNER
     assert driver.sent(JoinRequest)
@@ -437,7 +439,7 @@
 def test_a_leader_whose_removal_is_not_committed_stands_again():
     without = Configuration(("b", "c"), (B, C))
     removal = Entry(1, 1, EntryKind.CONFIGURATION, b"", without)
-    driver = Driver(restored=state(entries=[removal]))
+    driver = Driver(restored=make_durable_state(entries=[removal]))
     driver.tick(4.5)
     assert {request.to for request in driver.sent(VoteRequest)} == {B, C}
 
@@ -468,7 +470,9 @@
 def test_a_vm_that_lost_its_disk_shows_as_joining_until_it_votes():
     again = ReplicaId("c", "2")
     repairing = Configuration(VMS, (A, B, C), (again,))
-    restored = state(entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", repairing)])
+    restored = make_durable_state(
+        entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", repairing)]
+    )
     driver = Driver(restored=restored)
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
@@ -504,7 +508,9 @@
 
 
 def test_a_snapshot_on_its_way_outlasts_the_next_compaction():
-    restored = state()._replace(snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef"))
+    restored = make_durable_state()._replace(
+        snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
+    )
     driver = leader(restored=restored, chunk_bytes=2, keep_entries=0)
     driver.answer(C, index=1, matched=False)
     driver.give(Propose(b"x", "t"))
@@ -552,7 +558,7 @@
 
 
 def test_a_voter_stands_at_once_when_the_leader_asks_it():
-    driver = Driver(me=B, restored=state(term=2))
+    driver = Driver(me=B, restored=make_durable_state(term=2))
     driver.give(Received(append(sender=A, to=B)))
     driver.give(Received(StandNow("lab", A, B, 2)))
     driver.sync()
@@ -562,7 +568,7 @@
 
 
 def test_an_old_request_to_stand_is_ignored():
-    driver = Driver(me=B, restored=state(term=3))
+    driver = Driver(me=B, restored=make_durable_state(term=3))
     assert driver.give(Received(StandNow("lab", A, B, 2))) == []
 
 
@@ -570,7 +576,7 @@
 def test_a_vote_against_a_live_leader_is_given_only_at_a_handover(
     is_leadership_transfer,
 ):
-    voter = Driver(me=C, restored=state(term=2))
+    voter = Driver(me=C, restored=make_durable_state(term=2))
     voter.give(Received(append(sender=A, to=C)))
     request = ask_vote(term=3, sender=B, to=C)._replace(
         is_leadership_transfer=is_leadership_transfer
@@ -599,7 +605,7 @@
         settings = ReplicaSettings(
             "lab", A, VMS, lease_share=0.0, start_timeout_s=0.08, election_timeout_s=0.6
         )
-        replica = Replica(settings, state(), Random(seed))
+        replica = Replica(settings, make_durable_state(), Random(seed))
         replica.handle(Tick(), 100.0)
         replica.handle(Tick(), 100.2)
         won = VoteReply("lab", B, A, replica.core.term + 1, True, True)
