--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -108,7 +108,7 @@
         return self.give(Received(reply))
 
 
-def leader(restored=None, **settings):
+def make_leader(restored=None, **settings):
     """Return a leader whose first entry is committed."""
     driver = Driver(restored=restored, **settings)
     driver.tick(4.5)
@@ -280,7 +280,7 @@
 
 
 def test_a_commit_needs_a_majority_that_has_synced():
-    driver = leader()
+    driver = make_leader()
     driver.give(Propose(b"x", "t"))
     driver.answer(B)
     assert driver.replies() == []
@@ -289,7 +289,7 @@
 
 
 def test_two_followers_are_a_majority_without_the_leaders_own_disk():
-    driver = leader()
+    driver = make_leader()
     driver.give(Propose(b"x", "t"))
     driver.answer(B)
     driver.answer(C)
@@ -312,7 +312,7 @@
 
 
 def test_an_isolated_leader_steps_down_and_accepts_nothing():
-    driver = leader()
+    driver = make_leader()
     driver.give(Propose(b"x", "before"))
     driver.sync()
     driver.tick(2.5)
@@ -323,7 +323,7 @@
 
 
 def test_a_leader_without_a_majority_is_replaced_without_a_revert():
-    driver = leader()
+    driver = make_leader()
     driver.give(Propose(b"lost", "t"))
     driver.sync()
     last = driver.replica.core.log.last_index
@@ -346,7 +346,7 @@
     ],
 )
 def test_reads(name, silence_s, jump_s, outcomes):
-    driver = leader()
+    driver = make_leader()
     driver.give(Tick(), 0.1)
     driver.replica.core.leadership.next_heartbeat_at = 0
     driver.give(Tick(), 0.1)
@@ -361,7 +361,7 @@
 
 
 def test_an_answer_to_an_earlier_round_does_not_vouch_for_a_read():
-    driver = leader()
+    driver = make_leader()
     driver.tick(1.5)
     before = driver.replica.core.leadership.round
     driver.give(Read("r"))
@@ -380,7 +380,7 @@
 
 
 def test_a_failing_disk_ends_all_part_in_the_log():
-    driver = leader()
+    driver = make_leader()
     driver.give(Propose(b"x", "t"))
     problem = Problem("disk-full", "the disk is full")
     driver.give(PersistFailed(driver.unsynced.pop(), problem))
@@ -405,7 +405,7 @@
     ],
 )
 def test_what_is_refused_never_enters_the_log(code, settings, event):
-    driver = leader(**settings)
+    driver = make_leader(**settings)
     last = driver.replica.core.log.last_index
     driver.give(event)
     assert driver.replies()[0].problem.code == code
@@ -445,7 +445,7 @@
 
 
 def test_a_member_that_lost_what_it_acknowledged_is_sent_it_again():
-    driver = leader()
+    driver = make_leader()
     driver.give(Propose(b"x", "t"))
     driver.sync()
     driver.answer(B)
@@ -489,7 +489,7 @@
 
 
 def test_a_cluster_is_not_whole_before_its_last_step_is_committed():
-    driver = leader()
+    driver = make_leader()
     assert driver.replica.status().is_whole
     driver.give(ChangeMembership(VMS, "t"))
     driver.sync()
@@ -500,7 +500,7 @@
 
 
 def test_a_leader_does_not_take_its_own_old_request_to_join_for_a_newcomer():
-    driver = leader()
+    driver = make_leader()
     before = driver.replica.core.log.configuration
     driver.give(Received(JoinRequest("lab", A)))
     driver.tick(0.5)
@@ -511,7 +511,7 @@
     restored = make_durable_state()._replace(
         snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
     )
-    driver = leader(restored=restored, chunk_bytes=2, keep_entries=0)
+    driver = make_leader(restored=restored, chunk_bytes=2, keep_entries=0)
     driver.answer(C, index=1, matched=False)
     driver.give(Propose(b"x", "t"))
     driver.sync()
@@ -532,7 +532,7 @@
 
 
 def test_idle_costs_two_messages_a_follower_and_second():
-    driver = leader()
+    driver = make_leader()
     for _ in range(100):
         driver.give(Tick(), 0.1)
         driver.answer(B)
@@ -543,7 +543,7 @@
 
 
 def test_a_leader_that_stops_hands_over_to_a_voter_with_the_whole_log():
-    driver = leader()
+    driver = make_leader()
     driver.give(HandOver())
     asked = driver.sent(StandNow)
     assert len(asked) == 1
@@ -551,7 +551,7 @@
 
 
 def test_a_leader_hands_over_to_nobody_who_lacks_an_entry():
-    driver = leader()
+    driver = make_leader()
     driver.give(Propose(b"x", "t"))
     driver.give(HandOver())
     assert driver.sent(StandNow) == []
