--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -125,7 +125,7 @@
     return driver
 
 
-def append(
+def append_request(
     term=2, previous=(0, 0), entries=(), commit=0, sender=B, to=A, cluster="lab"
 ):
     return AppendRequest(cluster, sender, to, term, *previous, entries, commit, 1)
@@ -139,7 +139,7 @@
     samples = {
         VoteRequest: ask_vote(),
         VoteReply: VoteReply("lab", A, B, 1, True, False),
-        AppendRequest: append(
+        AppendRequest: append_request(
             entries=(
                 data_entry(1, 1),
                 Entry(2, 1, EntryKind.CONFIGURATION, b"", THREE_VOTERS),
@@ -160,7 +160,7 @@
 
 def test_a_follower_acknowledges_only_what_is_synced():
     follower = Driver()
-    follower.give(Received(append(entries=(data_entry(1, 2),))))
+    follower.give(Received(append_request(entries=(data_entry(1, 2),))))
     assert follower.sent(AppendReply) == []
     follower.sync()
     assert follower.sent(AppendReply)[0].log_index == 1
@@ -226,7 +226,7 @@
 def test_nobody_votes_while_a_leader_is_heard():
     voter = Driver()
     voter.tick(2.5)
-    voter.give(Received(append()))
+    voter.give(Received(append_request()))
     voter.give(Received(ask_vote(term=7, sender=C)))
     voter.sync()
     assert not voter.sent(VoteReply)[-1].is_granted
@@ -236,7 +236,7 @@
 def test_a_jump_of_the_clock_does_not_shorten_the_promise_not_to_vote():
     voter = Driver()
     voter.tick(2.5)
-    voter.give(Received(append()))
+    voter.give(Received(append_request()))
     voter.now += 3600
     voter.give(Received(ask_vote(term=7, sender=C)))
     assert voter.replica.core.term == 2
@@ -245,8 +245,8 @@
 @pytest.mark.parametrize(
     "message",
     [
-        append(cluster="other"),
-        append(to=ReplicaId("a", "lost")),
+        append_request(cluster="other"),
+        append_request(to=ReplicaId("a", "lost")),
         ask_vote(cluster="other"),
         ask_vote(to=ReplicaId("a", "lost")),
     ],
@@ -267,7 +267,7 @@
         restored=make_durable_state(configuration=THREE_VOTERS._replace(origin=mine))
     )
     driver.tick(2.5)
-    driver.give(Received(append(cluster=theirs)))
+    driver.give(Received(append_request(cluster=theirs)))
     assert (driver.replica.core.term == 2) == is_heard
 
 
@@ -329,7 +329,7 @@
     last = driver.replica.core.log.last_index
     won = data_entry(last, 9, b"won")
     previous = (last - 1, driver.replica.core.log.term_at(last - 1))
-    driver.give(Received(append(9, previous, (won,), last)))
+    driver.give(Received(append_request(9, previous, (won,), last)))
     driver.sync()
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
     applied = [one for one in driver.seen if isinstance(one, Apply)]
@@ -389,7 +389,7 @@
     driver.seen.clear()
     driver.tick(9)
     driver.give(Received(ask_vote(term=9)))
-    driver.give(Received(append(9)))
+    driver.give(Received(append_request(9)))
     assert driver.seen == []
     driver.give(Propose(b"x", "u"))
     assert driver.replies()[0].problem.code == "replica-failed"
@@ -559,7 +559,7 @@
 
 def test_a_voter_stands_at_once_when_the_leader_asks_it():
     driver = Driver(me=B, restored=make_durable_state(term=2))
-    driver.give(Received(append(sender=A, to=B)))
+    driver.give(Received(append_request(sender=A, to=B)))
     driver.give(Received(StandNow("lab", A, B, 2)))
     driver.sync()
     requests = driver.sent(VoteRequest)
@@ -577,7 +577,7 @@
     is_leadership_transfer,
 ):
     voter = Driver(me=C, restored=make_durable_state(term=2))
-    voter.give(Received(append(sender=A, to=C)))
+    voter.give(Received(append_request(sender=A, to=C)))
     request = ask_vote(term=3, sender=B, to=C)._replace(
         is_leadership_transfer=is_leadership_transfer
     )
