--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -131,13 +131,13 @@
     return AppendRequest(cluster, sender, to, term, *previous, entries, commit, 1)
 
 
-def ask_vote(term=2, trial=False, last=(9, 9), sender=B, to=A, cluster="lab"):
+def vote_request(term=2, trial=False, last=(9, 9), sender=B, to=A, cluster="lab"):
     return VoteRequest(cluster, sender, to, term, *last, trial)
 
 
 def test_every_message_survives_the_trip():
     samples = {
-        VoteRequest: ask_vote(),
+        VoteRequest: vote_request(),
         VoteReply: VoteReply("lab", A, B, 1, True, False),
         AppendRequest: append_request(
             entries=(
@@ -169,7 +169,7 @@
 def test_a_vote_is_given_only_once_it_is_synced():
     voter = Driver()
     voter.tick(2.5)
-    voter.give(Received(ask_vote()))
+    voter.give(Received(vote_request()))
     assert voter.sent(VoteReply) == []
     voter.sync()
     assert voter.sent(VoteReply)[0].is_granted
@@ -178,12 +178,12 @@
 def test_a_vote_is_remembered_over_a_restart():
     voter = Driver()
     voter.tick(2.5)
-    voter.give(Received(ask_vote(sender=B)))
+    voter.give(Received(vote_request(sender=B)))
     voter.sync()
     kept = [one.vote for one in voter.seen if isinstance(one, Persist) and one.vote]
     again = Driver(restored=make_durable_state()._replace(vote=kept[-1]))
     again.tick(2.5)
-    again.give(Received(ask_vote(sender=C)))
+    again.give(Received(vote_request(sender=C)))
     again.sync()
     assert not again.sent(VoteReply)[0].is_granted
 
@@ -191,24 +191,36 @@
 @pytest.mark.parametrize(
     ("name", "restored", "wait_s", "request_", "granted"),
     [
-        ("free", make_durable_state(), 2.5, ask_vote(), True),
-        ("trial", make_durable_state(), 2.5, ask_vote(trial=True), True),
-        ("just started", make_durable_state(), 0.5, ask_vote(), False),
-        ("old term", make_durable_state(term=5), 2.5, ask_vote(term=4), False),
-        ("voted for another", make_durable_state(2, C), 2.5, ask_vote(term=2), False),
-        ("voted for the same", make_durable_state(2, B), 2.5, ask_vote(term=2), True),
+        ("free", make_durable_state(), 2.5, vote_request(), True),
+        ("trial", make_durable_state(), 2.5, vote_request(trial=True), True),
+        ("just started", make_durable_state(), 0.5, vote_request(), False),
+        ("old term", make_durable_state(term=5), 2.5, vote_request(term=4), False),
+        (
+            "voted for another",
+            make_durable_state(2, C),
+            2.5,
+            vote_request(term=2),
+            False,
+        ),
+        (
+            "voted for the same",
+            make_durable_state(2, B),
+            2.5,
+            vote_request(term=2),
+            True,
+        ),
         (
             "shorter log",
             make_durable_state(entries=[data_entry(1, 1), data_entry(2, 1)]),
             2.5,
-            ask_vote(last=(1, 1)),
+            vote_request(last=(1, 1)),
             False,
         ),
         (
             "longer log of an older term",
             make_durable_state(2, None, [data_entry(1, 2)]),
             2.5,
-            ask_vote(term=3, last=(9, 1)),
+            vote_request(term=3, last=(9, 1)),
             False,
         ),
     ],
@@ -227,7 +239,7 @@
     voter = Driver()
     voter.tick(2.5)
     voter.give(Received(append_request()))
-    voter.give(Received(ask_vote(term=7, sender=C)))
+    voter.give(Received(vote_request(term=7, sender=C)))
     voter.sync()
     assert not voter.sent(VoteReply)[-1].is_granted
     assert voter.replica.core.term == 2
@@ -238,7 +250,7 @@
     voter.tick(2.5)
     voter.give(Received(append_request()))
     voter.now += 3600
-    voter.give(Received(ask_vote(term=7, sender=C)))
+    voter.give(Received(vote_request(term=7, sender=C)))
     assert voter.replica.core.term == 2
 
 
@@ -247,8 +259,8 @@
     [
         append_request(cluster="other"),
         append_request(to=ReplicaId("a", "lost")),
-        ask_vote(cluster="other"),
-        ask_vote(to=ReplicaId("a", "lost")),
+        vote_request(cluster="other"),
+        vote_request(to=ReplicaId("a", "lost")),
     ],
 )
 def test_messages_for_another_cluster_or_folder_are_dropped(message):
@@ -388,7 +400,7 @@
     assert driver.role() == Role.FAILED
     driver.seen.clear()
     driver.tick(9)
-    driver.give(Received(ask_vote(term=9)))
+    driver.give(Received(vote_request(term=9)))
     driver.give(Received(append_request(9)))
     assert driver.seen == []
     driver.give(Propose(b"x", "u"))
@@ -578,7 +590,7 @@
 ):
     voter = Driver(me=C, restored=make_durable_state(term=2))
     voter.give(Received(append_request(sender=A, to=C)))
-    request = ask_vote(term=3, sender=B, to=C)._replace(
+    request = vote_request(term=3, sender=B, to=C)._replace(
         is_leadership_transfer=is_leadership_transfer
     )
     voter.give(Received(request))
