Rename trial to is_pre_vote

The parameter tells whether the request is a pre-vote.

Rename: libs/agreement/tests/test_replica.py trial is_pre_vote

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -131,8 +131,8 @@
     return AppendRequest(cluster, sender, to, term, *previous, entries, commit, 1)
 
 
-def vote_request(term=2, trial=False, last=(9, 9), sender=B, to=A, cluster="lab"):
-    return VoteRequest(cluster, sender, to, term, *last, trial)
+def vote_request(term=2, is_pre_vote=False, last=(9, 9), sender=B, to=A, cluster="lab"):
+    return VoteRequest(cluster, sender, to, term, *last, is_pre_vote)
 
 
 def test_every_message_survives_the_trip():
@@ -192,7 +192,7 @@
     ("name", "restored", "wait_s", "request_", "granted"),
     [
         ("free", make_durable_state(), 2.5, vote_request(), True),
-        ("trial", make_durable_state(), 2.5, vote_request(trial=True), True),
+        ("trial", make_durable_state(), 2.5, vote_request(is_pre_vote=True), True),
         ("just started", make_durable_state(), 0.5, vote_request(), False),
         ("old term", make_durable_state(term=5), 2.5, vote_request(term=4), False),
         (
