--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -131,8 +131,10 @@
     return AppendRequest(cluster, sender, to, term, *previous, entries, commit, 1)
 
 
-def vote_request(term=2, is_pre_vote=False, last=(9, 9), sender=B, to=A, cluster="lab"):
-    return VoteRequest(cluster, sender, to, term, *last, is_pre_vote)
+def vote_request(
+    term=2, is_pre_vote=False, last_position=(9, 9), sender=B, to=A, cluster="lab"
+):
+    return VoteRequest(cluster, sender, to, term, *last_position, is_pre_vote)
 
 
 def test_every_message_survives_the_trip():
@@ -213,14 +215,14 @@
             "shorter log",
             make_durable_state(entries=[data_entry(1, 1), data_entry(2, 1)]),
             2.5,
-            vote_request(last=(1, 1)),
+            vote_request(last_position=(1, 1)),
             False,
         ),
         (
             "longer log of an older term",
             make_durable_state(2, None, [data_entry(1, 2)]),
             2.5,
-            vote_request(term=3, last=(9, 1)),
+            vote_request(term=3, last_position=(9, 1)),
             False,
         ),
     ],
