Rename previous to previous_position

The parameter is the position of the previous entry.

Rename: libs/agreement/tests/test_replica.py previous previous_position

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -126,9 +126,17 @@
 
 
 def append_request(
-    term=2, previous=(0, 0), entries=(), commit=0, sender=B, to=A, cluster="lab"
+    term=2,
+    previous_position=(0, 0),
+    entries=(),
+    commit=0,
+    sender=B,
+    to=A,
+    cluster="lab",
 ):
-    return AppendRequest(cluster, sender, to, term, *previous, entries, commit, 1)
+    return AppendRequest(
+        cluster, sender, to, term, *previous_position, entries, commit, 1
+    )
 
 
 def vote_request(
