--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -63,7 +63,7 @@
     return DurableState(VoteRecord(term, voted_for), snapshot, tuple(entries))
 
 
-class Driver:
+class ReplicaDriver:
     """One replica whose disk syncs when told to."""
 
     def __init__(self, me=A, restored=None, **settings):
@@ -110,7 +110,7 @@
 
 def make_leader(restored=None, **settings):
     """Return a leader whose first entry is committed."""
-    driver = Driver(restored=restored, **settings)
+    driver = ReplicaDriver(restored=restored, **settings)
     driver.tick(4.5)
     assert driver.role() == Role.CANDIDATE
     term = driver.replica.core.term
@@ -169,7 +169,7 @@
 
 
 def test_a_follower_acknowledges_only_what_is_synced():
-    follower = Driver()
+    follower = ReplicaDriver()
     follower.give(Received(append_request(entries=(data_entry(1, 2),))))
     assert follower.sent(AppendReply) == []
     follower.sync()
@@ -177,7 +177,7 @@
 
 
 def test_a_vote_is_given_only_once_it_is_synced():
-    voter = Driver()
+    voter = ReplicaDriver()
     voter.tick(2.5)
     voter.give(Received(vote_request()))
     assert voter.sent(VoteReply) == []
@@ -186,12 +186,12 @@
 
 
 def test_a_vote_is_remembered_over_a_restart():
-    voter = Driver()
+    voter = ReplicaDriver()
     voter.tick(2.5)
     voter.give(Received(vote_request(sender=B)))
     voter.sync()
     kept = [one.vote for one in voter.seen if isinstance(one, Persist) and one.vote]
-    again = Driver(restored=make_durable_state()._replace(vote=kept[-1]))
+    again = ReplicaDriver(restored=make_durable_state()._replace(vote=kept[-1]))
     again.tick(2.5)
     again.give(Received(vote_request(sender=C)))
     again.sync()
@@ -236,7 +236,7 @@
     ],
 )
 def test_votes(name, restored, wait_s, request_, granted):
-    voter = Driver(restored=restored)
+    voter = ReplicaDriver(restored=restored)
     voter.tick(wait_s)
     voter.sync()
     voter.seen.clear()
@@ -246,7 +246,7 @@
 
 
 def test_nobody_votes_while_a_leader_is_heard():
-    voter = Driver()
+    voter = ReplicaDriver()
     voter.tick(2.5)
     voter.give(Received(append_request()))
     voter.give(Received(vote_request(term=7, sender=C)))
@@ -256,7 +256,7 @@
 
 
 def test_a_jump_of_the_clock_does_not_shorten_the_promise_not_to_vote():
-    voter = Driver()
+    voter = ReplicaDriver()
     voter.tick(2.5)
     voter.give(Received(append_request()))
     voter.now += 3600
@@ -274,7 +274,7 @@
     ],
 )
 def test_messages_for_another_cluster_or_folder_are_dropped(message):
-    replica = Driver()
+    replica = ReplicaDriver()
     replica.tick(2.5)
     replica.seen.clear()
     assert replica.give(Received(message)) == []
@@ -285,7 +285,7 @@
     [("", "lab/f1", True), ("f1", "lab/f1", True), ("f1", "lab/f2", False)],
 )
 def test_a_cluster_founded_again_under_the_same_name_is_another(mine, theirs, is_heard):
-    driver = Driver(
+    driver = ReplicaDriver(
         restored=make_durable_state(configuration=THREE_VOTERS._replace(origin=mine))
     )
     driver.tick(2.5)
@@ -294,7 +294,7 @@
 
 
 def test_a_vote_by_a_vm_that_lost_its_folder_does_not_count():
-    candidate = Driver()
+    candidate = ReplicaDriver()
     candidate.tick(4.5)
     again = ReplicaId("b", "2")
     candidate.give(Received(VoteReply("lab", again, A, 2, True, True)))
@@ -320,7 +320,7 @@
 
 def test_an_entry_of_an_earlier_term_is_not_committed_by_counting():
     restored = make_durable_state(1, None, [data_entry(1, 1)])
-    driver = Driver(restored=restored)
+    driver = ReplicaDriver(restored=restored)
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
@@ -392,7 +392,7 @@
 
 
 def test_a_new_leader_answers_no_read_before_it_has_committed():
-    driver = Driver()
+    driver = ReplicaDriver()
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
@@ -435,7 +435,7 @@
 
 
 def test_a_founder_accepts_nothing_alone():
-    driver = Driver(restored=founding_state(A, VMS))
+    driver = ReplicaDriver(restored=founding_state(A, VMS))
     driver.tick(0.2)
     driver.sync()
     assert driver.role() == Role.LEADER
@@ -444,7 +444,7 @@
 
 
 def test_a_joining_vm_asks_and_neither_stands_nor_is_let_in_unasked():
-    driver = Driver(restored=joining_state())
+    driver = ReplicaDriver(restored=joining_state())
     driver.tick(9)
     assert driver.role() == Role.OUTSIDER
     assert driver.sent(JoinRequest) and not driver.sent(VoteRequest)
@@ -452,7 +452,7 @@
 
 def test_a_member_by_an_entry_that_was_never_committed_asks_again():
     learner = Configuration(VMS, (A, B), (C,))
-    driver = Driver(C, make_durable_state(configuration=learner))
+    driver = ReplicaDriver(C, make_durable_state(configuration=learner))
     driver.tick(5)
     assert driver.role() == Role.LEARNER
     assert driver.sent(JoinRequest)
@@ -461,7 +461,7 @@
 def test_a_leader_whose_removal_is_not_committed_stands_again():
     without = Configuration(("b", "c"), (B, C))
     removal = Entry(1, 1, EntryKind.CONFIGURATION, b"", without)
-    driver = Driver(restored=make_durable_state(entries=[removal]))
+    driver = ReplicaDriver(restored=make_durable_state(entries=[removal]))
     driver.tick(4.5)
     assert {request.to for request in driver.sent(VoteRequest)} == {B, C}
 
@@ -478,7 +478,7 @@
 
 
 def test_a_snapshot_arrives_in_parts_that_may_come_twice():
-    follower = Driver(restored=joining_state())
+    follower = ReplicaDriver(restored=joining_state())
     parts = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
     for offset, data in parts:
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
@@ -495,7 +495,7 @@
     restored = make_durable_state(
         entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", repairing)]
     )
-    driver = Driver(restored=restored)
+    driver = ReplicaDriver(restored=restored)
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
@@ -580,7 +580,7 @@
 
 
 def test_a_voter_stands_at_once_when_the_leader_asks_it():
-    driver = Driver(me=B, restored=make_durable_state(term=2))
+    driver = ReplicaDriver(me=B, restored=make_durable_state(term=2))
     driver.give(Received(append_request(sender=A, to=B)))
     driver.give(Received(StandNow("lab", A, B, 2)))
     driver.sync()
@@ -590,7 +590,7 @@
 
 
 def test_an_old_request_to_stand_is_ignored():
-    driver = Driver(me=B, restored=make_durable_state(term=3))
+    driver = ReplicaDriver(me=B, restored=make_durable_state(term=3))
     assert driver.give(Received(StandNow("lab", A, B, 2))) == []
 
 
@@ -598,7 +598,7 @@
 def test_a_vote_against_a_live_leader_is_given_only_at_a_handover(
     is_leadership_transfer,
 ):
-    voter = Driver(me=C, restored=make_durable_state(term=2))
+    voter = ReplicaDriver(me=C, restored=make_durable_state(term=2))
     voter.give(Received(append_request(sender=A, to=C)))
     request = vote_request(term=3, sender=B, to=C)._replace(
         is_leadership_transfer=is_leadership_transfer
@@ -609,7 +609,7 @@
 
 
 def test_a_replica_without_leases_stands_soon_after_its_start():
-    driver = Driver(lease_share=0.0, start_timeout_s=0.15)
+    driver = ReplicaDriver(lease_share=0.0, start_timeout_s=0.15)
     driver.give(Tick())
     assert driver.role() == Role.FOLLOWER
     driver.give(Tick(), after=0.31)
@@ -618,7 +618,7 @@
 
 def test_a_short_start_is_refused_where_a_leader_reads_under_a_lease():
     with pytest.raises(ValueError, match="lease"):
-        Driver(start_timeout_s=0.1)
+        ReplicaDriver(start_timeout_s=0.1)
 
 
 def test_candidates_that_split_the_votes_stand_again_at_different_times():
