Rename me to replica_id

The parameter is the identity of the replica.

Rename: libs/agreement/tests/test_replica.py me replica_id

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -66,8 +66,8 @@
 class ReplicaDriver:
     """One replica whose disk syncs when told to."""
 
-    def __init__(self, me=A, restored=None, **settings):
-        options = ReplicaSettings("lab", me, VMS, **settings)
+    def __init__(self, replica_id=A, restored=None, **settings):
+        options = ReplicaSettings("lab", replica_id, VMS, **settings)
         self.replica = Replica(options, restored or make_durable_state(), Random(1))
         self.now = 100.0
         self.unsynced = []
@@ -580,7 +580,7 @@
 
 
 def test_a_voter_stands_at_once_when_the_leader_asks_it():
-    driver = ReplicaDriver(me=B, restored=make_durable_state(term=2))
+    driver = ReplicaDriver(replica_id=B, restored=make_durable_state(term=2))
     driver.give(Received(append_request(sender=A, to=B)))
     driver.give(Received(StandNow("lab", A, B, 2)))
     driver.sync()
@@ -590,7 +590,7 @@
 
 
 def test_an_old_request_to_stand_is_ignored():
-    driver = ReplicaDriver(me=B, restored=make_durable_state(term=3))
+    driver = ReplicaDriver(replica_id=B, restored=make_durable_state(term=3))
     assert driver.give(Received(StandNow("lab", A, B, 2))) == []
 
 
@@ -598,7 +598,7 @@
 def test_a_vote_against_a_live_leader_is_given_only_at_a_handover(
     is_leadership_transfer,
 ):
-    voter = ReplicaDriver(me=C, restored=make_durable_state(term=2))
+    voter = ReplicaDriver(replica_id=C, restored=make_durable_state(term=2))
     voter.give(Received(append_request(sender=A, to=C)))
     request = vote_request(term=3, sender=B, to=C)._replace(
         is_leadership_transfer=is_leadership_transfer
