Rename restored to durable_state

The parameter is a DurableState.

Rename: libs/agreement/tests/test_replica.py restored durable_state

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -66,9 +66,11 @@
 class ReplicaDriver:
     """One replica whose disk syncs when told to."""
 
-    def __init__(self, replica_id=A, restored=None, **settings):
+    def __init__(self, replica_id=A, durable_state=None, **settings):
         options = ReplicaSettings("lab", replica_id, VMS, **settings)
-        self.replica = Replica(options, restored or make_durable_state(), Random(1))
+        self.replica = Replica(
+            options, durable_state or make_durable_state(), Random(1)
+        )
         self.now = 100.0
         self.unsynced = []
         self.seen = []
@@ -108,9 +110,9 @@
         return self.give(Received(reply))
 
 
-def make_leader(restored=None, **settings):
+def make_leader(durable_state=None, **settings):
     """Return a leader whose first entry is committed."""
-    driver = ReplicaDriver(restored=restored, **settings)
+    driver = ReplicaDriver(durable_state=restored, **settings)
     driver.tick(4.5)
     assert driver.role() == Role.CANDIDATE
     term = driver.replica.core.term
@@ -191,7 +193,7 @@
     voter.give(Received(vote_request(sender=B)))
     voter.sync()
     kept = [one.vote for one in voter.seen if isinstance(one, Persist) and one.vote]
-    again = ReplicaDriver(restored=make_durable_state()._replace(vote=kept[-1]))
+    again = ReplicaDriver(durable_state=make_durable_state()._replace(vote=kept[-1]))
     again.tick(2.5)
     again.give(Received(vote_request(sender=C)))
     again.sync()
@@ -236,7 +238,7 @@
     ],
 )
 def test_votes(name, restored, wait_s, request_, granted):
-    voter = ReplicaDriver(restored=restored)
+    voter = ReplicaDriver(durable_state=restored)
     voter.tick(wait_s)
     voter.sync()
     voter.seen.clear()
@@ -286,7 +288,9 @@
 )
 def test_a_cluster_founded_again_under_the_same_name_is_another(mine, theirs, is_heard):
     driver = ReplicaDriver(
-        restored=make_durable_state(configuration=THREE_VOTERS._replace(origin=mine))
+        durable_state=make_durable_state(
+            configuration=THREE_VOTERS._replace(origin=mine)
+        )
     )
     driver.tick(2.5)
     driver.give(Received(append_request(cluster=theirs)))
@@ -320,7 +324,7 @@
 
 def test_an_entry_of_an_earlier_term_is_not_committed_by_counting():
     restored = make_durable_state(1, None, [data_entry(1, 1)])
-    driver = ReplicaDriver(restored=restored)
+    driver = ReplicaDriver(durable_state=restored)
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
@@ -435,7 +439,7 @@
 
 
 def test_a_founder_accepts_nothing_alone():
-    driver = ReplicaDriver(restored=founding_state(A, VMS))
+    driver = ReplicaDriver(durable_state=founding_state(A, VMS))
     driver.tick(0.2)
     driver.sync()
     assert driver.role() == Role.LEADER
@@ -444,7 +448,7 @@
 
 
 def test_a_joining_vm_asks_and_neither_stands_nor_is_let_in_unasked():
-    driver = ReplicaDriver(restored=joining_state())
+    driver = ReplicaDriver(durable_state=joining_state())
     driver.tick(9)
     assert driver.role() == Role.OUTSIDER
     assert driver.sent(JoinRequest) and not driver.sent(VoteRequest)
@@ -461,7 +465,7 @@
 def test_a_leader_whose_removal_is_not_committed_stands_again():
     without = Configuration(("b", "c"), (B, C))
     removal = Entry(1, 1, EntryKind.CONFIGURATION, b"", without)
-    driver = ReplicaDriver(restored=make_durable_state(entries=[removal]))
+    driver = ReplicaDriver(durable_state=make_durable_state(entries=[removal]))
     driver.tick(4.5)
     assert {request.to for request in driver.sent(VoteRequest)} == {B, C}
 
@@ -478,7 +482,7 @@
 
 
 def test_a_snapshot_arrives_in_parts_that_may_come_twice():
-    follower = ReplicaDriver(restored=joining_state())
+    follower = ReplicaDriver(durable_state=joining_state())
     parts = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
     for offset, data in parts:
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
@@ -495,7 +499,7 @@
     restored = make_durable_state(
         entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", repairing)]
     )
-    driver = ReplicaDriver(restored=restored)
+    driver = ReplicaDriver(durable_state=restored)
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
@@ -533,7 +537,7 @@
     restored = make_durable_state()._replace(
         snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
     )
-    driver = make_leader(restored=restored, chunk_bytes=2, keep_entries=0)
+    driver = make_leader(durable_state=restored, chunk_bytes=2, keep_entries=0)
     driver.answer(C, index=1, matched=False)
     driver.give(Propose(b"x", "t"))
     driver.sync()
@@ -580,7 +584,7 @@
 
 
 def test_a_voter_stands_at_once_when_the_leader_asks_it():
-    driver = ReplicaDriver(replica_id=B, restored=make_durable_state(term=2))
+    driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=2))
     driver.give(Received(append_request(sender=A, to=B)))
     driver.give(Received(StandNow("lab", A, B, 2)))
     driver.sync()
@@ -590,7 +594,7 @@
 
 
 def test_an_old_request_to_stand_is_ignored():
-    driver = ReplicaDriver(replica_id=B, restored=make_durable_state(term=3))
+    driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=3))
     assert driver.give(Received(StandNow("lab", A, B, 2))) == []
 
 
@@ -598,7 +602,7 @@
 def test_a_vote_against_a_live_leader_is_given_only_at_a_handover(
     is_leadership_transfer,
 ):
-    voter = ReplicaDriver(replica_id=C, restored=make_durable_state(term=2))
+    voter = ReplicaDriver(replica_id=C, durable_state=make_durable_state(term=2))
     voter.give(Received(append_request(sender=A, to=C)))
     request = vote_request(term=3, sender=B, to=C)._replace(
         is_leadership_transfer=is_leadership_transfer
