Rename restored to durable_state

The variable is a DurableState.

Rename: libs/agreement/tests/test_replica.py restored durable_state

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -323,8 +323,8 @@
 
 
 def test_an_entry_of_an_earlier_term_is_not_committed_by_counting():
-    restored = make_durable_state(1, None, [data_entry(1, 1)])
-    driver = ReplicaDriver(durable_state=restored)
+    durable_state = make_durable_state(1, None, [data_entry(1, 1)])
+    driver = ReplicaDriver(durable_state=durable_state)
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
