Rename restored to durable_state

The variable is a DurableState.

Rename: libs/agreement/tests/test_replica.py restored durable_state

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -496,10 +496,10 @@
 def test_a_vm_that_lost_its_disk_shows_as_joining_until_it_votes():
     again = ReplicaId("c", "2")
     repairing = Configuration(VMS, (A, B, C), (again,))
-    restored = make_durable_state(
+    durable_state = make_durable_state(
         entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", repairing)]
     )
-    driver = ReplicaDriver(durable_state=restored)
+    driver = ReplicaDriver(durable_state=durable_state)
     driver.tick(4.5)
     driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
