Rename restored to durable_state

The variable is a DurableState.

Rename: libs/agreement/tests/test_replica.py restored durable_state

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -534,10 +534,10 @@
 
 
 def test_a_snapshot_on_its_way_outlasts_the_next_compaction():
-    restored = make_durable_state()._replace(
+    durable_state = make_durable_state()._replace(
         snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
     )
-    driver = make_leader(durable_state=restored, chunk_bytes=2, keep_entries=0)
+    driver = make_leader(durable_state=durable_state, chunk_bytes=2, keep_entries=0)
     driver.answer(C, index=1, matched=False)
     driver.give(Propose(b"x", "t"))
     driver.sync()
