Rename restored to durable_state

The parameter is a DurableState.

Rename: libs/agreement/tests/test_replica.py restored durable_state

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -201,7 +201,7 @@
 
 
 @pytest.mark.parametrize(
-    ("name", "restored", "wait_s", "request_", "granted"),
+    ("name", "durable_state", "wait_s", "request_", "granted"),
     [
         ("free", make_durable_state(), 2.5, vote_request(), True),
         ("trial", make_durable_state(), 2.5, vote_request(is_pre_vote=True), True),
@@ -237,8 +237,8 @@
         ),
     ],
 )
-def test_votes(name, restored, wait_s, request_, granted):
-    voter = ReplicaDriver(durable_state=restored)
+def test_votes(name, durable_state, wait_s, request_, granted):
+    voter = ReplicaDriver(durable_state=durable_state)
     voter.tick(wait_s)
     voter.sync()
     voter.seen.clear()
