Rename options to replica_settings

The variable holds the settings.

Rename: libs/agreement/tests/test_replica.py options replica_settings

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -67,9 +67,9 @@
     """One replica whose disk syncs when told to."""
 
     def __init__(self, replica_id=A, durable_state=None, **settings):
-        options = ReplicaSettings("lab", replica_id, VMS, **settings)
+        replica_settings = ReplicaSettings("lab", replica_id, VMS, **settings)
         self.replica = Replica(
-            options, durable_state or make_durable_state(), Random(1)
+            replica_settings, durable_state or make_durable_state(), Random(1)
         )
         self.now = 100.0
         self.unsynced = []
