Rename unsynced to pending_persists

The attribute holds the numbers of pending persists.

Rename: libs/agreement/tests/test_replica.py unsynced pending_persists

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -72,19 +72,21 @@
             replica_settings, durable_state or make_durable_state(), Random(1)
         )
         self.now = 100.0
-        self.unsynced = []
+        self.pending_persists = []
         self.seen = []
 
     def give(self, event, after=0.0):
         self.now += after
         actions = self.replica.handle(event, self.now)
-        self.unsynced += [one.number for one in actions if isinstance(one, Persist)]
+        self.pending_persists += [
+            one.number for one in actions if isinstance(one, Persist)
+        ]
         self.seen += actions
         return actions
 
     def sync(self):
-        while self.unsynced:
-            self.give(Persisted(self.unsynced.pop(0)))
+        while self.pending_persists:
+            self.give(Persisted(self.pending_persists.pop(0)))
 
     def tick(self, seconds):
         for _ in range(round(seconds * 10)):
@@ -409,7 +411,7 @@
     driver = make_leader()
     driver.give(Propose(b"x", "t"))
     problem = Problem("disk-full", "the disk is full")
-    driver.give(PersistFailed(driver.unsynced.pop(), problem))
+    driver.give(PersistFailed(driver.pending_persists.pop(), problem))
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
     assert driver.role() == Role.FAILED
     driver.seen.clear()
