--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -73,7 +73,7 @@
         )
         self.now = 100.0
         self.pending_persists = []
-        self.seen = []
+        self.actions = []
 
     def give(self, event, after=0.0):
         self.now += after
@@ -81,7 +81,7 @@
         self.pending_persists += [
             one.number for one in actions if isinstance(one, Persist)
         ]
-        self.seen += actions
+        self.actions += actions
         return actions
 
     def sync(self):
@@ -93,11 +93,11 @@
             self.give(Tick(), 0.1)
 
     def sent(self, kind):
-        sends = (one for one in self.seen if isinstance(one, Send))
+        sends = (one for one in self.actions if isinstance(one, Send))
         return [one.message for one in sends if isinstance(one.message, kind)]
 
     def replies(self):
-        return [one for one in self.seen if isinstance(one, Reply)]
+        return [one for one in self.actions if isinstance(one, Reply)]
 
     def role(self):
         return self.replica.status().role
@@ -125,7 +125,7 @@
     assert driver.role() == Role.LEADER
     driver.answer(B)
     driver.answer(C)
-    driver.seen.clear()
+    driver.actions.clear()
     return driver
 
 
@@ -194,7 +194,7 @@
     voter.tick(2.5)
     voter.give(Received(vote_request(sender=B)))
     voter.sync()
-    kept = [one.vote for one in voter.seen if isinstance(one, Persist) and one.vote]
+    kept = [one.vote for one in voter.actions if isinstance(one, Persist) and one.vote]
     again = ReplicaDriver(durable_state=make_durable_state()._replace(vote=kept[-1]))
     again.tick(2.5)
     again.give(Received(vote_request(sender=C)))
@@ -243,7 +243,7 @@
     voter = ReplicaDriver(durable_state=durable_state)
     voter.tick(wait_s)
     voter.sync()
-    voter.seen.clear()
+    voter.actions.clear()
     voter.give(Received(request_))
     voter.sync()
     assert [reply.is_granted for reply in voter.sent(VoteReply)] == [granted], name
@@ -280,7 +280,7 @@
 def test_messages_for_another_cluster_or_folder_are_dropped(message):
     replica = ReplicaDriver()
     replica.tick(2.5)
-    replica.seen.clear()
+    replica.actions.clear()
     assert replica.give(Received(message)) == []
 
 
@@ -360,7 +360,7 @@
     driver.give(Received(append_request(9, previous, (won,), last)))
     driver.sync()
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
-    applied = [one for one in driver.seen if isinstance(one, Apply)]
+    applied = [one for one in driver.actions if isinstance(one, Apply)]
     assert [one.data for one in applied[-1].entries] == [b"won"]
 
 
@@ -381,7 +381,7 @@
     driver.answer(B)
     driver.tick(silence_s)
     driver.now += jump_s
-    driver.seen.clear()
+    driver.actions.clear()
     driver.give(Read("r"))
     assert [reply.outcome for reply in driver.replies()] == outcomes, name
     driver.answer(C)
@@ -414,11 +414,11 @@
     driver.give(PersistFailed(driver.pending_persists.pop(), problem))
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
     assert driver.role() == Role.FAILED
-    driver.seen.clear()
+    driver.actions.clear()
     driver.tick(9)
     driver.give(Received(vote_request(term=9)))
     driver.give(Received(append_request(9)))
-    assert driver.seen == []
+    assert driver.actions == []
     driver.give(Propose(b"x", "u"))
     assert driver.replies()[0].problem.code == "replica-failed"
 
@@ -477,7 +477,7 @@
     driver.give(Propose(b"x", "t"))
     driver.sync()
     driver.answer(B)
-    driver.seen.clear()
+    driver.actions.clear()
     driver.answer(B, index=1, matched=False)
     sent = driver.sent(AppendRequest)
     assert sent[0].entries[0].log_index == 1
@@ -554,7 +554,7 @@
         driver.give(Received(reply))
     chunks = driver.sent(SnapshotChunk)
     assert [(one.log_index, one.offset) for one in chunks] == [(5, 0), (5, 2), (5, 4)]
-    driver.seen.clear()
+    driver.actions.clear()
     driver.answer(C, index=5)
     assert driver.sent(AppendRequest)[0].entries[0].log_index == 6
 
