--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -75,7 +75,7 @@
         self.pending_persists = []
         self.actions = []
 
-    def give(self, event, after=0.0):
+    def handle(self, event, after=0.0):
         self.now += after
         actions = self.replica.handle(event, self.now)
         self.pending_persists += [
@@ -86,11 +86,11 @@
 
     def sync(self):
         while self.pending_persists:
-            self.give(Persisted(self.pending_persists.pop(0)))
+            self.handle(Persisted(self.pending_persists.pop(0)))
 
     def tick(self, seconds):
         for _ in range(round(seconds * 10)):
-            self.give(Tick(), 0.1)
+            self.handle(Tick(), 0.1)
 
     def sent(self, kind):
         sends = (one for one in self.actions if isinstance(one, Send))
@@ -109,7 +109,7 @@
         reply = AppendReply(
             "lab", who, core.replica_id, core.term, matched, last, number
         )
-        return self.give(Received(reply))
+        return self.handle(Received(reply))
 
 
 def make_leader(durable_state=None, **settings):
@@ -118,9 +118,9 @@
     driver.tick(4.5)
     assert driver.role() == Role.CANDIDATE
     term = driver.replica.core.term
-    driver.give(Received(VoteReply("lab", B, A, term + 1, True, True)))
+    driver.handle(Received(VoteReply("lab", B, A, term + 1, True, True)))
     driver.sync()
-    driver.give(Received(VoteReply("lab", B, A, term + 1, False, True)))
+    driver.handle(Received(VoteReply("lab", B, A, term + 1, False, True)))
     driver.sync()
     assert driver.role() == Role.LEADER
     driver.answer(B)
@@ -174,7 +174,7 @@
 
 def test_a_follower_acknowledges_only_what_is_synced():
     follower = ReplicaDriver()
-    follower.give(Received(append_request(entries=(data_entry(1, 2),))))
+    follower.handle(Received(append_request(entries=(data_entry(1, 2),))))
     assert follower.sent(AppendReply) == []
     follower.sync()
     assert follower.sent(AppendReply)[0].log_index == 1
@@ -183,7 +183,7 @@
 def test_a_vote_is_given_only_once_it_is_synced():
     voter = ReplicaDriver()
     voter.tick(2.5)
-    voter.give(Received(vote_request()))
+    voter.handle(Received(vote_request()))
     assert voter.sent(VoteReply) == []
     voter.sync()
     assert voter.sent(VoteReply)[0].is_granted
@@ -192,12 +192,12 @@
 def test_a_vote_is_remembered_over_a_restart():
     voter = ReplicaDriver()
     voter.tick(2.5)
-    voter.give(Received(vote_request(sender=B)))
+    voter.handle(Received(vote_request(sender=B)))
     voter.sync()
     kept = [one.vote for one in voter.actions if isinstance(one, Persist) and one.vote]
     again = ReplicaDriver(durable_state=make_durable_state()._replace(vote=kept[-1]))
     again.tick(2.5)
-    again.give(Received(vote_request(sender=C)))
+    again.handle(Received(vote_request(sender=C)))
     again.sync()
     assert not again.sent(VoteReply)[0].is_granted
 
@@ -244,7 +244,7 @@
     voter.tick(wait_s)
     voter.sync()
     voter.actions.clear()
-    voter.give(Received(request_))
+    voter.handle(Received(request_))
     voter.sync()
     assert [reply.is_granted for reply in voter.sent(VoteReply)] == [granted], name
 
@@ -252,8 +252,8 @@
 def test_nobody_votes_while_a_leader_is_heard():
     voter = ReplicaDriver()
     voter.tick(2.5)
-    voter.give(Received(append_request()))
-    voter.give(Received(vote_request(term=7, sender=C)))
+    voter.handle(Received(append_request()))
+    voter.handle(Received(vote_request(term=7, sender=C)))
     voter.sync()
     assert not voter.sent(VoteReply)[-1].is_granted
     assert voter.replica.core.term == 2
@@ -262,9 +262,9 @@
 def test_a_jump_of_the_clock_does_not_shorten_the_promise_not_to_vote():
     voter = ReplicaDriver()
     voter.tick(2.5)
-    voter.give(Received(append_request()))
+    voter.handle(Received(append_request()))
     voter.now += 3600
-    voter.give(Received(vote_request(term=7, sender=C)))
+    voter.handle(Received(vote_request(term=7, sender=C)))
     assert voter.replica.core.term == 2
 
 
@@ -281,7 +281,7 @@
     replica = ReplicaDriver()
     replica.tick(2.5)
     replica.actions.clear()
-    assert replica.give(Received(message)) == []
+    assert replica.handle(Received(message)) == []
 
 
 @pytest.mark.parametrize(
@@ -295,7 +295,7 @@
         )
     )
     driver.tick(2.5)
-    driver.give(Received(append_request(cluster=theirs)))
+    driver.handle(Received(append_request(cluster=theirs)))
     assert (driver.replica.core.term == 2) == is_heard
 
 
@@ -303,13 +303,13 @@
     candidate = ReplicaDriver()
     candidate.tick(4.5)
     again = ReplicaId("b", "2")
-    candidate.give(Received(VoteReply("lab", again, A, 2, True, True)))
+    candidate.handle(Received(VoteReply("lab", again, A, 2, True, True)))
     assert candidate.replica.core.election.is_pre_vote
 
 
 def test_a_commit_needs_a_majority_that_has_synced():
     driver = make_leader()
-    driver.give(Propose(b"x", "t"))
+    driver.handle(Propose(b"x", "t"))
     driver.answer(B)
     assert driver.replies() == []
     driver.sync()
@@ -318,7 +318,7 @@
 
 def test_two_followers_are_a_majority_without_the_leaders_own_disk():
     driver = make_leader()
-    driver.give(Propose(b"x", "t"))
+    driver.handle(Propose(b"x", "t"))
     driver.answer(B)
     driver.answer(C)
     assert driver.replies()[0].outcome == Outcome.COMMITTED
@@ -328,9 +328,9 @@
     durable_state = make_durable_state(1, None, [data_entry(1, 1)])
     driver = ReplicaDriver(durable_state=durable_state)
     driver.tick(4.5)
-    driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
-    driver.give(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
     driver.sync()
     driver.answer(B, index=1)
     driver.answer(C, index=1)
@@ -341,10 +341,10 @@
 
 def test_an_isolated_leader_steps_down_and_accepts_nothing():
     driver = make_leader()
-    driver.give(Propose(b"x", "before"))
+    driver.handle(Propose(b"x", "before"))
     driver.sync()
     driver.tick(2.5)
-    driver.give(Propose(b"x", "after"))
+    driver.handle(Propose(b"x", "after"))
     outcomes = {reply.token: reply.outcome for reply in driver.replies()}
     assert outcomes == {"before": Outcome.UNKNOWN, "after": Outcome.REFUSED}
     assert driver.role() != Role.LEADER
@@ -352,12 +352,12 @@
 
 def test_a_leader_without_a_majority_is_replaced_without_a_revert():
     driver = make_leader()
-    driver.give(Propose(b"lost", "t"))
+    driver.handle(Propose(b"lost", "t"))
     driver.sync()
     last = driver.replica.core.log.last_index
     won = data_entry(last, 9, b"won")
     previous = (last - 1, driver.replica.core.log.term_at(last - 1))
-    driver.give(Received(append_request(9, previous, (won,), last)))
+    driver.handle(Received(append_request(9, previous, (won,), last)))
     driver.sync()
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
     applied = [one for one in driver.actions if isinstance(one, Apply)]
@@ -375,14 +375,14 @@
 )
 def test_reads(name, silence_s, jump_s, outcomes):
     driver = make_leader()
-    driver.give(Tick(), 0.1)
+    driver.handle(Tick(), 0.1)
     driver.replica.core.leadership.next_heartbeat_at = 0
-    driver.give(Tick(), 0.1)
+    driver.handle(Tick(), 0.1)
     driver.answer(B)
     driver.tick(silence_s)
     driver.now += jump_s
     driver.actions.clear()
-    driver.give(Read("r"))
+    driver.handle(Read("r"))
     assert [reply.outcome for reply in driver.replies()] == outcomes, name
     driver.answer(C)
     assert [reply.outcome for reply in driver.replies()] == [Outcome.CURRENT], name
@@ -392,7 +392,7 @@
     driver = make_leader()
     driver.tick(1.5)
     before = driver.replica.core.leadership.round
-    driver.give(Read("r"))
+    driver.handle(Read("r"))
     driver.answer(B, round=before)
     assert driver.replies() == []
 
@@ -400,10 +400,10 @@
 def test_a_new_leader_answers_no_read_before_it_has_committed():
     driver = ReplicaDriver()
     driver.tick(4.5)
-    driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
-    driver.give(Received(VoteReply("lab", B, A, 2, False, True)))
-    driver.give(Read("r"))
+    driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.handle(Read("r"))
     assert driver.replies()[0].problem.code == "not-ready"
 
 
@@ -445,7 +445,7 @@
     driver.tick(0.2)
     driver.sync()
     assert driver.role() == Role.LEADER
-    driver.give(Propose(b"x", "t"))
+    driver.handle(Propose(b"x", "t"))
     assert driver.replies()[0].problem.code == "too-few-voters"
 
 
@@ -488,7 +488,7 @@
     parts = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
     for offset, data in parts:
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
-        follower.give(Received(chunk))
+        follower.handle(Received(chunk))
     follower.sync()
     assert [one.received_bytes for one in follower.sent(SnapshotReply)] == [2, 2, 2, 4]
     assert follower.sent(AppendReply)[-1].log_index == 9
@@ -503,9 +503,9 @@
     )
     driver = ReplicaDriver(durable_state=durable_state)
     driver.tick(4.5)
-    driver.give(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.sync()
-    driver.give(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
     driver.sync()
     for _ in range(30):
         driver.answer(B)
@@ -587,8 +587,8 @@
 
 def test_a_voter_stands_at_once_when_the_leader_asks_it():
     driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=2))
-    driver.give(Received(append_request(sender=A, to=B)))
-    driver.give(Received(StandNow("lab", A, B, 2)))
+    driver.handle(Received(append_request(sender=A, to=B)))
+    driver.handle(Received(StandNow("lab", A, B, 2)))
     driver.sync()
     requests = driver.sent(VoteRequest)
     assert {one.term for one in requests} == {3}
@@ -597,7 +597,7 @@
 
 def test_an_old_request_to_stand_is_ignored():
     driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=3))
-    assert driver.give(Received(StandNow("lab", A, B, 2))) == []
+    assert driver.handle(Received(StandNow("lab", A, B, 2))) == []
 
 
 @pytest.mark.parametrize("is_leadership_transfer", [False, True])
@@ -605,20 +605,20 @@
     is_leadership_transfer,
 ):
     voter = ReplicaDriver(replica_id=C, durable_state=make_durable_state(term=2))
-    voter.give(Received(append_request(sender=A, to=C)))
+    voter.handle(Received(append_request(sender=A, to=C)))
     request = vote_request(term=3, sender=B, to=C)._replace(
         is_leadership_transfer=is_leadership_transfer
     )
-    voter.give(Received(request))
+    voter.handle(Received(request))
     voter.sync()
     assert voter.sent(VoteReply)[-1].is_granted == is_leadership_transfer
 
 
 def test_a_replica_without_leases_stands_soon_after_its_start():
     driver = ReplicaDriver(lease_share=0.0, start_timeout_s=0.15)
-    driver.give(Tick())
+    driver.handle(Tick())
     assert driver.role() == Role.FOLLOWER
-    driver.give(Tick(), after=0.31)
+    driver.handle(Tick(), after=0.31)
     assert driver.role() == Role.CANDIDATE
 
 
