--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -75,8 +75,8 @@
         self.pending_persists = []
         self.actions = []
 
-    def handle(self, event, after=0.0):
-        self.now += after
+    def handle(self, event, delay_s=0.0):
+        self.now += delay_s
         actions = self.replica.handle(event, self.now)
         self.pending_persists += [
             one.number for one in actions if isinstance(one, Persist)
@@ -618,7 +618,7 @@
     driver = ReplicaDriver(lease_share=0.0, start_timeout_s=0.15)
     driver.handle(Tick())
     assert driver.role() == Role.FOLLOWER
-    driver.handle(Tick(), after=0.31)
+    driver.handle(Tick(), delay_s=0.31)
     assert driver.role() == Role.CANDIDATE
 
 
