--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -84,7 +84,7 @@
         self.actions += actions
         return actions
 
-    def sync(self):
+    def confirm_persists(self):
         while self.pending_persists:
             self.handle(Persisted(self.pending_persists.pop(0)))
 
@@ -119,9 +119,9 @@
     assert driver.role() == Role.CANDIDATE
     term = driver.replica.core.term
     driver.handle(Received(VoteReply("lab", B, A, term + 1, True, True)))
-    driver.sync()
+    driver.confirm_persists()
     driver.handle(Received(VoteReply("lab", B, A, term + 1, False, True)))
-    driver.sync()
+    driver.confirm_persists()
     assert driver.role() == Role.LEADER
     driver.answer(B)
     driver.answer(C)
@@ -176,7 +176,7 @@
     follower = ReplicaDriver()
     follower.handle(Received(append_request(entries=(data_entry(1, 2),))))
     assert follower.sent(AppendReply) == []
-    follower.sync()
+    follower.confirm_persists()
     assert follower.sent(AppendReply)[0].log_index == 1
 
 
@@ -185,7 +185,7 @@
     voter.tick(2.5)
     voter.handle(Received(vote_request()))
     assert voter.sent(VoteReply) == []
-    voter.sync()
+    voter.confirm_persists()
     assert voter.sent(VoteReply)[0].is_granted
 
 
@@ -193,12 +193,12 @@
     voter = ReplicaDriver()
     voter.tick(2.5)
     voter.handle(Received(vote_request(sender=B)))
-    voter.sync()
+    voter.confirm_persists()
     kept = [one.vote for one in voter.actions if isinstance(one, Persist) and one.vote]
     again = ReplicaDriver(durable_state=make_durable_state()._replace(vote=kept[-1]))
     again.tick(2.5)
     again.handle(Received(vote_request(sender=C)))
-    again.sync()
+    again.confirm_persists()
     assert not again.sent(VoteReply)[0].is_granted
 
 
@@ -242,10 +242,10 @@
 def test_votes(name, durable_state, wait_s, request_, granted):
     voter = ReplicaDriver(durable_state=durable_state)
     voter.tick(wait_s)
-    voter.sync()
+    voter.confirm_persists()
     voter.actions.clear()
     voter.handle(Received(request_))
-    voter.sync()
+    voter.confirm_persists()
     assert [reply.is_granted for reply in voter.sent(VoteReply)] == [granted], name
 
 
@@ -254,7 +254,7 @@
     voter.tick(2.5)
     voter.handle(Received(append_request()))
     voter.handle(Received(vote_request(term=7, sender=C)))
-    voter.sync()
+    voter.confirm_persists()
     assert not voter.sent(VoteReply)[-1].is_granted
     assert voter.replica.core.term == 2
 
@@ -312,7 +312,7 @@
     driver.handle(Propose(b"x", "t"))
     driver.answer(B)
     assert driver.replies() == []
-    driver.sync()
+    driver.confirm_persists()
     assert driver.replies()[0].outcome == Outcome.COMMITTED
 
 
@@ -329,9 +329,9 @@
     driver = ReplicaDriver(durable_state=durable_state)
     driver.tick(4.5)
     driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
-    driver.sync()
+    driver.confirm_persists()
     driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
-    driver.sync()
+    driver.confirm_persists()
     driver.answer(B, index=1)
     driver.answer(C, index=1)
     assert driver.replica.core.commit == 0
@@ -342,7 +342,7 @@
 def test_an_isolated_leader_steps_down_and_accepts_nothing():
     driver = make_leader()
     driver.handle(Propose(b"x", "before"))
-    driver.sync()
+    driver.confirm_persists()
     driver.tick(2.5)
     driver.handle(Propose(b"x", "after"))
     outcomes = {reply.token: reply.outcome for reply in driver.replies()}
@@ -353,12 +353,12 @@
 def test_a_leader_without_a_majority_is_replaced_without_a_revert():
     driver = make_leader()
     driver.handle(Propose(b"lost", "t"))
-    driver.sync()
+    driver.confirm_persists()
     last = driver.replica.core.log.last_index
     won = data_entry(last, 9, b"won")
     previous = (last - 1, driver.replica.core.log.term_at(last - 1))
     driver.handle(Received(append_request(9, previous, (won,), last)))
-    driver.sync()
+    driver.confirm_persists()
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
     applied = [one for one in driver.actions if isinstance(one, Apply)]
     assert [one.data for one in applied[-1].entries] == [b"won"]
@@ -401,7 +401,7 @@
     driver = ReplicaDriver()
     driver.tick(4.5)
     driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
-    driver.sync()
+    driver.confirm_persists()
     driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
     driver.handle(Read("r"))
     assert driver.replies()[0].problem.code == "not-ready"
@@ -443,7 +443,7 @@
 def test_a_founder_accepts_nothing_alone():
     driver = ReplicaDriver(durable_state=founding_state(A, VMS))
     driver.tick(0.2)
-    driver.sync()
+    driver.confirm_persists()
     assert driver.role() == Role.LEADER
     driver.handle(Propose(b"x", "t"))
     assert driver.replies()[0].problem.code == "too-few-voters"
@@ -475,7 +475,7 @@
 def test_a_member_that_lost_what_it_acknowledged_is_sent_it_again():
     driver = make_leader()
     driver.give(Propose(b"x", "t"))
-    driver.sync()
+    driver.confirm_persists()
     driver.answer(B)
     driver.actions.clear()
     driver.answer(B, index=1, matched=False)
@@ -489,7 +489,7 @@
     for offset, data in parts:
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
         follower.handle(Received(chunk))
-    follower.sync()
+    follower.confirm_persists()
     assert [one.received_bytes for one in follower.sent(SnapshotReply)] == [2, 2, 2, 4]
     assert follower.sent(AppendReply)[-1].log_index == 9
     assert follower.replica.core.log.snapshot.data == b"abcdef"
@@ -504,9 +504,9 @@
     driver = ReplicaDriver(durable_state=durable_state)
     driver.tick(4.5)
     driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
-    driver.sync()
+    driver.confirm_persists()
     driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
-    driver.sync()
+    driver.confirm_persists()
     for _ in range(30):
         driver.answer(B)
         driver.answer(again, index=0, matched=False)
@@ -520,7 +520,7 @@
     driver = make_leader()
     assert driver.replica.status().is_whole
     driver.give(ChangeMembership(VMS, "t"))
-    driver.sync()
+    driver.confirm_persists()
     assert not driver.replica.status().is_whole
     driver.answer(B)
     driver.answer(C)
@@ -542,11 +542,11 @@
     driver = make_leader(durable_state=durable_state, chunk_bytes=2, keep_entries=0)
     driver.answer(C, index=1, matched=False)
     driver.give(Propose(b"x", "t"))
-    driver.sync()
+    driver.confirm_persists()
     driver.answer(B)
     commit = driver.replica.core.commit
     driver.give(SnapshotTaken(commit, b"another"))
-    driver.sync()
+    driver.confirm_persists()
     term = driver.replica.core.term
     for received in (2, 4):
         number = driver.replica.core.leadership.round
@@ -589,7 +589,7 @@
     driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=2))
     driver.handle(Received(append_request(sender=A, to=B)))
     driver.handle(Received(StandNow("lab", A, B, 2)))
-    driver.sync()
+    driver.confirm_persists()
     requests = driver.sent(VoteRequest)
     assert {one.term for one in requests} == {3}
     assert all(one.is_leadership_transfer and not one.is_pre_vote for one in requests)
@@ -610,7 +610,7 @@
         is_leadership_transfer=is_leadership_transfer
     )
     voter.handle(Received(request))
-    voter.sync()
+    voter.confirm_persists()
     assert voter.sent(VoteReply)[-1].is_granted == is_leadership_transfer
 
 
