--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -88,7 +88,7 @@
         while self.pending_persists:
             self.handle(Persisted(self.pending_persists.pop(0)))
 
-    def tick(self, seconds):
+    def run_ticks(self, seconds):
         for _ in range(round(seconds * 10)):
             self.handle(Tick(), 0.1)
 
@@ -115,7 +115,7 @@
 def make_leader(durable_state=None, **settings):
     """Return a leader whose first entry is committed."""
     driver = ReplicaDriver(durable_state=restored, **settings)
-    driver.tick(4.5)
+    driver.run_ticks(4.5)
     assert driver.role() == Role.CANDIDATE
     term = driver.replica.core.term
     driver.handle(Received(VoteReply("lab", B, A, term + 1, True, True)))
@@ -182,7 +182,7 @@
 
 def test_a_vote_is_given_only_once_it_is_synced():
     voter = ReplicaDriver()
-    voter.tick(2.5)
+    voter.run_ticks(2.5)
     voter.handle(Received(vote_request()))
     assert voter.sent(VoteReply) == []
     voter.confirm_persists()
@@ -191,12 +191,12 @@
 
 def test_a_vote_is_remembered_over_a_restart():
     voter = ReplicaDriver()
-    voter.tick(2.5)
+    voter.run_ticks(2.5)
     voter.handle(Received(vote_request(sender=B)))
     voter.confirm_persists()
     kept = [one.vote for one in voter.actions if isinstance(one, Persist) and one.vote]
     again = ReplicaDriver(durable_state=make_durable_state()._replace(vote=kept[-1]))
-    again.tick(2.5)
+    again.run_ticks(2.5)
     again.handle(Received(vote_request(sender=C)))
     again.confirm_persists()
     assert not again.sent(VoteReply)[0].is_granted
@@ -241,7 +241,7 @@
 )
 def test_votes(name, durable_state, wait_s, request_, granted):
     voter = ReplicaDriver(durable_state=durable_state)
-    voter.tick(wait_s)
+    voter.run_ticks(wait_s)
     voter.confirm_persists()
     voter.actions.clear()
     voter.handle(Received(request_))
@@ -251,7 +251,7 @@
 
 def test_nobody_votes_while_a_leader_is_heard():
     voter = ReplicaDriver()
-    voter.tick(2.5)
+    voter.run_ticks(2.5)
     voter.handle(Received(append_request()))
     voter.handle(Received(vote_request(term=7, sender=C)))
     voter.confirm_persists()
@@ -261,7 +261,7 @@
 
 def test_a_jump_of_the_clock_does_not_shorten_the_promise_not_to_vote():
     voter = ReplicaDriver()
-    voter.tick(2.5)
+    voter.run_ticks(2.5)
     voter.handle(Received(append_request()))
     voter.now += 3600
     voter.handle(Received(vote_request(term=7, sender=C)))
@@ -279,7 +279,7 @@
 )
 def test_messages_for_another_cluster_or_folder_are_dropped(message):
     replica = ReplicaDriver()
-    replica.tick(2.5)
+    replica.run_ticks(2.5)
     replica.actions.clear()
     assert replica.handle(Received(message)) == []
 
@@ -294,14 +294,14 @@
             configuration=THREE_VOTERS._replace(origin=mine)
         )
     )
-    driver.tick(2.5)
+    driver.run_ticks(2.5)
     driver.handle(Received(append_request(cluster=theirs)))
     assert (driver.replica.core.term == 2) == is_heard
 
 
 def test_a_vote_by_a_vm_that_lost_its_folder_does_not_count():
     candidate = ReplicaDriver()
-    candidate.tick(4.5)
+    candidate.run_ticks(4.5)
     again = ReplicaId("b", "2")
     candidate.handle(Received(VoteReply("lab", again, A, 2, True, True)))
     assert candidate.replica.core.election.is_pre_vote
@@ -327,7 +327,7 @@
 def test_an_entry_of_an_earlier_term_is_not_committed_by_counting():
     durable_state = make_durable_state(1, None, [data_entry(1, 1)])
     driver = ReplicaDriver(durable_state=durable_state)
-    driver.tick(4.5)
+    driver.run_ticks(4.5)
     driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.confirm_persists()
     driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
@@ -343,7 +343,7 @@
     driver = make_leader()
     driver.handle(Propose(b"x", "before"))
     driver.confirm_persists()
-    driver.tick(2.5)
+    driver.run_ticks(2.5)
     driver.handle(Propose(b"x", "after"))
     outcomes = {reply.token: reply.outcome for reply in driver.replies()}
     assert outcomes == {"before": Outcome.UNKNOWN, "after": Outcome.REFUSED}
@@ -379,7 +379,7 @@
     driver.replica.core.leadership.next_heartbeat_at = 0
     driver.handle(Tick(), 0.1)
     driver.answer(B)
-    driver.tick(silence_s)
+    driver.run_ticks(silence_s)
     driver.now += jump_s
     driver.actions.clear()
     driver.handle(Read("r"))
@@ -390,7 +390,7 @@
 
 def test_an_answer_to_an_earlier_round_does_not_vouch_for_a_read():
     driver = make_leader()
-    driver.tick(1.5)
+    driver.run_ticks(1.5)
     before = driver.replica.core.leadership.round
     driver.handle(Read("r"))
     driver.answer(B, round=before)
@@ -399,7 +399,7 @@
 
 def test_a_new_leader_answers_no_read_before_it_has_committed():
     driver = ReplicaDriver()
-    driver.tick(4.5)
+    driver.run_ticks(4.5)
     driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.confirm_persists()
     driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
@@ -415,7 +415,7 @@
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
     assert driver.role() == Role.FAILED
     driver.actions.clear()
-    driver.tick(9)
+    driver.run_ticks(9)
     driver.give(Received(vote_request(term=9)))
     driver.give(Received(append_request(9)))
     assert driver.actions == []
@@ -442,7 +442,7 @@
 
 def test_a_founder_accepts_nothing_alone():
     driver = ReplicaDriver(durable_state=founding_state(A, VMS))
-    driver.tick(0.2)
+    driver.run_ticks(0.2)
     driver.confirm_persists()
     assert driver.role() == Role.LEADER
     driver.handle(Propose(b"x", "t"))
@@ -451,7 +451,7 @@
 
 def test_a_joining_vm_asks_and_neither_stands_nor_is_let_in_unasked():
     driver = ReplicaDriver(durable_state=joining_state())
-    driver.tick(9)
+    driver.run_ticks(9)
     assert driver.role() == Role.OUTSIDER
     assert driver.sent(JoinRequest) and not driver.sent(VoteRequest)
 
@@ -459,7 +459,7 @@
 def test_a_member_by_an_entry_that_was_never_committed_asks_again():
     learner = Configuration(VMS, (A, B), (C,))
     driver = ReplicaDriver(C, make_durable_state(configuration=learner))
-    driver.tick(5)
+    driver.run_ticks(5)
     assert driver.role() == Role.LEARNER
     assert driver.sent(JoinRequest)
 
@@ -468,7 +468,7 @@
     without = Configuration(("b", "c"), (B, C))
     removal = Entry(1, 1, EntryKind.CONFIGURATION, b"", without)
     driver = ReplicaDriver(durable_state=make_durable_state(entries=[removal]))
-    driver.tick(4.5)
+    driver.run_ticks(4.5)
     assert {request.to for request in driver.sent(VoteRequest)} == {B, C}
 
 
@@ -502,7 +502,7 @@
         entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", repairing)]
     )
     driver = ReplicaDriver(durable_state=durable_state)
-    driver.tick(4.5)
+    driver.run_ticks(4.5)
     driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
     driver.confirm_persists()
     driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
@@ -510,7 +510,7 @@
     for _ in range(30):
         driver.answer(B)
         driver.answer(again, index=0, matched=False)
-        driver.tick(0.1)
+        driver.run_ticks(0.1)
     status = driver.replica.status()
     assert (status.voting_vms, status.joining_vms) == ({"a", "b"}, {"c"})
     assert not status.is_whole
@@ -531,7 +531,7 @@
     driver = make_leader()
     before = driver.replica.core.log.configuration
     driver.give(Received(JoinRequest("lab", A)))
-    driver.tick(0.5)
+    driver.run_ticks(0.5)
     assert driver.replica.core.log.configuration == before
 
 
