Rename sent to sent_messages

The method returns the sent messages.

Rename: libs/agreement/tests/test_replica.py sent sent_messages

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -92,7 +92,7 @@
         for _ in range(round(seconds * 10)):
             self.handle(Tick(), 0.1)
 
-    def sent(self, kind):
+    def sent_messages(self, kind):
         sends = (one for one in self.actions if isinstance(one, Send))
         return [one.message for one in sends if isinstance(one.message, kind)]
 
@@ -175,18 +175,18 @@
 def test_a_follower_acknowledges_only_what_is_synced():
     follower = ReplicaDriver()
     follower.handle(Received(append_request(entries=(data_entry(1, 2),))))
-    assert follower.sent(AppendReply) == []
+    assert follower.sent_messages(AppendReply) == []
     follower.confirm_persists()
-    assert follower.sent(AppendReply)[0].log_index == 1
+    assert follower.sent_messages(AppendReply)[0].log_index == 1
 
 
 def test_a_vote_is_given_only_once_it_is_synced():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
     voter.handle(Received(vote_request()))
-    assert voter.sent(VoteReply) == []
+    assert voter.sent_messages(VoteReply) == []
     voter.confirm_persists()
-    assert voter.sent(VoteReply)[0].is_granted
+    assert voter.sent_messages(VoteReply)[0].is_granted
 
 
 def test_a_vote_is_remembered_over_a_restart():
@@ -199,7 +199,7 @@
     again.run_ticks(2.5)
     again.handle(Received(vote_request(sender=C)))
     again.confirm_persists()
-    assert not again.sent(VoteReply)[0].is_granted
+    assert not again.sent_messages(VoteReply)[0].is_granted
 
 
 @pytest.mark.parametrize(
@@ -246,7 +246,9 @@
     voter.actions.clear()
     voter.handle(Received(request_))
     voter.confirm_persists()
-    assert [reply.is_granted for reply in voter.sent(VoteReply)] == [granted], name
+    assert [reply.is_granted for reply in voter.sent_messages(VoteReply)] == [
+        granted
+    ], name
 
 
 def test_nobody_votes_while_a_leader_is_heard():
@@ -255,7 +257,7 @@
     voter.handle(Received(append_request()))
     voter.handle(Received(vote_request(term=7, sender=C)))
     voter.confirm_persists()
-    assert not voter.sent(VoteReply)[-1].is_granted
+    assert not voter.sent_messages(VoteReply)[-1].is_granted
     assert voter.replica.core.term == 2
 
 
@@ -453,7 +455,7 @@
     driver = ReplicaDriver(durable_state=joining_state())
     driver.run_ticks(9)
     assert driver.role() == Role.OUTSIDER
-    assert driver.sent(JoinRequest) and not driver.sent(VoteRequest)
+    assert driver.sent_messages(JoinRequest) and not driver.sent_messages(VoteRequest)
 
 
 def test_a_member_by_an_entry_that_was_never_committed_asks_again():
@@ -461,7 +463,7 @@
     driver = ReplicaDriver(C, make_durable_state(configuration=learner))
     driver.run_ticks(5)
     assert driver.role() == Role.LEARNER
-    assert driver.sent(JoinRequest)
+    assert driver.sent_messages(JoinRequest)
 
 
 def test_a_leader_whose_removal_is_not_committed_stands_again():
@@ -469,7 +471,7 @@
     removal = Entry(1, 1, EntryKind.CONFIGURATION, b"", without)
     driver = ReplicaDriver(durable_state=make_durable_state(entries=[removal]))
     driver.run_ticks(4.5)
-    assert {request.to for request in driver.sent(VoteRequest)} == {B, C}
+    assert {request.to for request in driver.sent_messages(VoteRequest)} == {B, C}
 
 
 def test_a_member_that_lost_what_it_acknowledged_is_sent_it_again():
@@ -479,7 +481,7 @@
     driver.answer(B)
     driver.actions.clear()
     driver.answer(B, index=1, matched=False)
-    sent = driver.sent(AppendRequest)
+    sent = driver.sent_messages(AppendRequest)
     assert sent[0].entries[0].log_index == 1
 
 
@@ -490,8 +492,13 @@
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
         follower.handle(Received(chunk))
     follower.confirm_persists()
-    assert [one.received_bytes for one in follower.sent(SnapshotReply)] == [2, 2, 2, 4]
-    assert follower.sent(AppendReply)[-1].log_index == 9
+    assert [one.received_bytes for one in follower.sent_messages(SnapshotReply)] == [
+        2,
+        2,
+        2,
+        4,
+    ]
+    assert follower.sent_messages(AppendReply)[-1].log_index == 9
     assert follower.replica.core.log.snapshot.data == b"abcdef"
 
 
@@ -552,11 +559,11 @@
         number = driver.replica.core.leadership.round
         reply = SnapshotReply("lab", C, A, term, 5, received, number)
         driver.give(Received(reply))
-    chunks = driver.sent(SnapshotChunk)
+    chunks = driver.sent_messages(SnapshotChunk)
     assert [(one.log_index, one.offset) for one in chunks] == [(5, 0), (5, 2), (5, 4)]
     driver.actions.clear()
     driver.answer(C, index=5)
-    assert driver.sent(AppendRequest)[0].entries[0].log_index == 6
+    assert driver.sent_messages(AppendRequest)[0].entries[0].log_index == 6
 
 
 def test_idle_costs_two_messages_a_follower_and_second():
@@ -565,7 +572,7 @@
         driver.give(Tick(), 0.1)
         driver.answer(B)
         driver.answer(C)
-    sent = driver.sent(AppendRequest)
+    sent = driver.sent_messages(AppendRequest)
     assert len(sent) <= 2 * 2 * 10 + 2
     assert max(len(MESSAGES.encode(one)) for one in sent) < 100
 
@@ -573,7 +580,7 @@
 def test_a_leader_that_stops_hands_over_to_a_voter_with_the_whole_log():
     driver = make_leader()
     driver.give(HandOver())
-    asked = driver.sent(StandNow)
+    asked = driver.sent_messages(StandNow)
     assert len(asked) == 1
     assert asked[0].to in (B, C)
 
@@ -582,7 +589,7 @@
     driver = make_leader()
     driver.give(Propose(b"x", "t"))
     driver.give(HandOver())
-    assert driver.sent(StandNow) == []
+    assert driver.sent_messages(StandNow) == []
 
 
 def test_a_voter_stands_at_once_when_the_leader_asks_it():
@@ -590,7 +597,7 @@
     driver.handle(Received(append_request(sender=A, to=B)))
     driver.handle(Received(StandNow("lab", A, B, 2)))
     driver.confirm_persists()
-    requests = driver.sent(VoteRequest)
+    requests = driver.sent_messages(VoteRequest)
     assert {one.term for one in requests} == {3}
     assert all(one.is_leadership_transfer and not one.is_pre_vote for one in requests)
 
@@ -611,7 +618,7 @@
     )
     voter.handle(Received(request))
     voter.confirm_persists()
-    assert voter.sent(VoteReply)[-1].is_granted == is_leadership_transfer
+    assert voter.sent_messages(VoteReply)[-1].is_granted == is_leadership_transfer
 
 
 def test_a_replica_without_leases_stands_soon_after_its_start():
