--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -92,9 +92,9 @@
         for _ in range(round(seconds * 10)):
             self.handle(Tick(), 0.1)
 
-    def sent_messages(self, kind):
+    def sent_messages(self, message_type):
         sends = (one for one in self.actions if isinstance(one, Send))
-        return [one.message for one in sends if isinstance(one.message, kind)]
+        return [one.message for one in sends if isinstance(one.message, message_type)]
 
     def replies(self):
         return [one for one in self.actions if isinstance(one, Reply)]
