Rename answer to receive_append_reply

The method passes an AppendReply to the replica.

Rename: libs/agreement/tests/test_replica.py answer receive_append_reply

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -102,7 +102,7 @@
     def role(self):
         return self.replica.status().role
 
-    def answer(self, who, *, round=None, index=None, matched=True):
+    def receive_append_reply(self, who, *, round=None, index=None, matched=True):
         core = self.replica.core
         number = core.leadership.round if round is None else round
         last = core.log.last_index if index is None else index
@@ -123,8 +123,8 @@
     driver.handle(Received(VoteReply("lab", B, A, term + 1, False, True)))
     driver.confirm_persists()
     assert driver.role() == Role.LEADER
-    driver.answer(B)
-    driver.answer(C)
+    driver.receive_append_reply(B)
+    driver.receive_append_reply(C)
     driver.actions.clear()
     return driver
 
@@ -312,7 +312,7 @@
 def test_a_commit_needs_a_majority_that_has_synced():
     driver = make_leader()
     driver.handle(Propose(b"x", "t"))
-    driver.answer(B)
+    driver.receive_append_reply(B)
     assert driver.replies() == []
     driver.confirm_persists()
     assert driver.replies()[0].outcome == Outcome.COMMITTED
@@ -321,8 +321,8 @@
 def test_two_followers_are_a_majority_without_the_leaders_own_disk():
     driver = make_leader()
     driver.handle(Propose(b"x", "t"))
-    driver.answer(B)
-    driver.answer(C)
+    driver.receive_append_reply(B)
+    driver.receive_append_reply(C)
     assert driver.replies()[0].outcome == Outcome.COMMITTED
 
 
@@ -334,10 +334,10 @@
     driver.confirm_persists()
     driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
     driver.confirm_persists()
-    driver.answer(B, index=1)
-    driver.answer(C, index=1)
+    driver.receive_append_reply(B, index=1)
+    driver.receive_append_reply(C, index=1)
     assert driver.replica.core.commit == 0
-    driver.answer(B, index=2)
+    driver.receive_append_reply(B, index=2)
     assert driver.replica.core.commit == 2
 
 
@@ -380,13 +380,13 @@
     driver.handle(Tick(), 0.1)
     driver.replica.core.leadership.next_heartbeat_at = 0
     driver.handle(Tick(), 0.1)
-    driver.answer(B)
+    driver.receive_append_reply(B)
     driver.run_ticks(silence_s)
     driver.now += jump_s
     driver.actions.clear()
     driver.handle(Read("r"))
     assert [reply.outcome for reply in driver.replies()] == outcomes, name
-    driver.answer(C)
+    driver.receive_append_reply(C)
     assert [reply.outcome for reply in driver.replies()] == [Outcome.CURRENT], name
 
 
@@ -395,7 +395,7 @@
     driver.run_ticks(1.5)
     before = driver.replica.core.leadership.round
     driver.handle(Read("r"))
-    driver.answer(B, round=before)
+    driver.receive_append_reply(B, round=before)
     assert driver.replies() == []
 
 
@@ -478,9 +478,9 @@
     driver = make_leader()
     driver.give(Propose(b"x", "t"))
     driver.confirm_persists()
-    driver.answer(B)
+    driver.receive_append_reply(B)
     driver.actions.clear()
-    driver.answer(B, index=1, matched=False)
+    driver.receive_append_reply(B, index=1, matched=False)
     sent = driver.sent_messages(AppendRequest)
     assert sent[0].entries[0].log_index == 1
 
@@ -515,8 +515,8 @@
     driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
     driver.confirm_persists()
     for _ in range(30):
-        driver.answer(B)
-        driver.answer(again, index=0, matched=False)
+        driver.receive_append_reply(B)
+        driver.receive_append_reply(again, index=0, matched=False)
         driver.run_ticks(0.1)
     status = driver.replica.status()
     assert (status.voting_vms, status.joining_vms) == ({"a", "b"}, {"c"})
@@ -529,8 +529,8 @@
     driver.give(ChangeMembership(VMS, "t"))
     driver.confirm_persists()
     assert not driver.replica.status().is_whole
-    driver.answer(B)
-    driver.answer(C)
+    driver.receive_append_reply(B)
+    driver.receive_append_reply(C)
     assert driver.replica.status().is_whole
 
 
