--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -102,12 +102,12 @@
     def role(self):
         return self.replica.status().role
 
-    def receive_append_reply(self, who, *, round=None, index=None, matched=True):
+    def receive_append_reply(self, sender, *, round=None, index=None, matched=True):
         core = self.replica.core
         number = core.leadership.round if round is None else round
         last = core.log.last_index if index is None else index
         reply = AppendReply(
-            "lab", who, core.replica_id, core.term, matched, last, number
+            "lab", sender, core.replica_id, core.term, matched, last, number
         )
         return self.handle(Received(reply))
 
