--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -102,10 +102,10 @@
     def role(self):
         return self.replica.status().role
 
-    def receive_append_reply(self, sender, *, round=None, index=None, matched=True):
+    def receive_append_reply(self, sender, *, round=None, log_index=None, matched=True):
         core = self.replica.core
         number = core.leadership.round if round is None else round
-        last = core.log.last_index if index is None else index
+        last = core.log.last_index if log_index is None else log_index
         reply = AppendReply(
             "lab", sender, core.replica_id, core.term, matched, last, number
         )
@@ -334,10 +334,10 @@
     driver.confirm_persists()
     driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
     driver.confirm_persists()
-    driver.receive_append_reply(B, index=1)
-    driver.receive_append_reply(C, index=1)
+    driver.receive_append_reply(B, log_index=1)
+    driver.receive_append_reply(C, log_index=1)
     assert driver.replica.core.commit == 0
-    driver.receive_append_reply(B, index=2)
+    driver.receive_append_reply(B, log_index=2)
     assert driver.replica.core.commit == 2
 
 
@@ -480,7 +480,7 @@
     driver.confirm_persists()
     driver.receive_append_reply(B)
     driver.actions.clear()
-    driver.receive_append_reply(B, index=1, matched=False)
+    driver.receive_append_reply(B, log_index=1, matched=False)
     sent = driver.sent_messages(AppendRequest)
     assert sent[0].entries[0].log_index == 1
 
@@ -516,7 +516,7 @@
     driver.confirm_persists()
     for _ in range(30):
         driver.receive_append_reply(B)
-        driver.receive_append_reply(again, index=0, matched=False)
+        driver.receive_append_reply(again, log_index=0, matched=False)
         driver.run_ticks(0.1)
     status = driver.replica.status()
     assert (status.voting_vms, status.joining_vms) == ({"a", "b"}, {"c"})
@@ -547,7 +547,7 @@
         snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
     )
     driver = make_leader(durable_state=durable_state, chunk_bytes=2, keep_entries=0)
-    driver.answer(C, index=1, matched=False)
+    driver.answer(C, log_index=1, matched=False)
     driver.give(Propose(b"x", "t"))
     driver.confirm_persists()
     driver.answer(B)
@@ -562,7 +562,7 @@
     chunks = driver.sent_messages(SnapshotChunk)
     assert [(one.log_index, one.offset) for one in chunks] == [(5, 0), (5, 2), (5, 4)]
     driver.actions.clear()
-    driver.answer(C, index=5)
+    driver.answer(C, log_index=5)
     assert driver.sent_messages(AppendRequest)[0].entries[0].log_index == 6
 
 
