Rename matched to is_matched

The parameter is the field of the reply.

Rename: libs/agreement/tests/test_replica.py matched is_matched

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -102,12 +102,14 @@
     def role(self):
         return self.replica.status().role
 
-    def receive_append_reply(self, sender, *, round=None, log_index=None, matched=True):
+    def receive_append_reply(
+        self, sender, *, round=None, log_index=None, is_matched=True
+    ):
         core = self.replica.core
         number = core.leadership.round if round is None else round
         last = core.log.last_index if log_index is None else log_index
         reply = AppendReply(
-            "lab", sender, core.replica_id, core.term, matched, last, number
+            "lab", sender, core.replica_id, core.term, is_matched, last, number
         )
         return self.handle(Received(reply))
 
@@ -480,7 +482,7 @@
     driver.confirm_persists()
     driver.receive_append_reply(B)
     driver.actions.clear()
-    driver.receive_append_reply(B, log_index=1, matched=False)
+    driver.receive_append_reply(B, log_index=1, is_matched=False)
     sent = driver.sent_messages(AppendRequest)
     assert sent[0].entries[0].log_index == 1
 
@@ -516,7 +518,7 @@
     driver.confirm_persists()
     for _ in range(30):
         driver.receive_append_reply(B)
-        driver.receive_append_reply(again, log_index=0, matched=False)
+        driver.receive_append_reply(again, log_index=0, is_matched=False)
         driver.run_ticks(0.1)
     status = driver.replica.status()
     assert (status.voting_vms, status.joining_vms) == ({"a", "b"}, {"c"})
@@ -547,7 +549,7 @@
         snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
     )
     driver = make_leader(durable_state=durable_state, chunk_bytes=2, keep_entries=0)
-    driver.answer(C, log_index=1, matched=False)
+    driver.answer(C, log_index=1, is_matched=False)
     driver.give(Propose(b"x", "t"))
     driver.confirm_persists()
     driver.answer(B)
