Rename number to round_number

The variable is a number of a round.

Rename: libs/agreement/tests/test_replica.py number round_number

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -106,10 +106,10 @@
         self, sender, *, round=None, log_index=None, is_matched=True
     ):
         core = self.replica.core
-        number = core.leadership.round if round is None else round
+        round_number = core.leadership.round if round is None else round
         last = core.log.last_index if log_index is None else log_index
         reply = AppendReply(
-            "lab", sender, core.replica_id, core.term, is_matched, last, number
+            "lab", sender, core.replica_id, core.term, is_matched, last, round_number
         )
         return self.handle(Received(reply))
 
