--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -558,8 +558,8 @@
     driver.confirm_persists()
     term = driver.replica.core.term
     for received in (2, 4):
-        number = driver.replica.core.leadership.round
-        reply = SnapshotReply("lab", C, A, term, 5, received, number)
+        round_number = driver.replica.core.leadership.round
+        reply = SnapshotReply("lab", C, A, term, 5, received, round_number)
         driver.give(Received(reply))
     chunks = driver.sent_messages(SnapshotChunk)
     assert [(one.log_index, one.offset) for one in chunks] == [(5, 0), (5, 2), (5, 4)]
