--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -241,12 +241,12 @@
         ),
     ],
 )
-def test_votes(name, durable_state, wait_s, request_, granted):
+def test_votes(name, durable_state, wait_s, request, granted):
     voter = ReplicaDriver(durable_state=durable_state)
     voter.run_ticks(wait_s)
     voter.confirm_persists()
     voter.actions.clear()
-    voter.handle(Received(request_))
+    voter.handle(Received(request))
     voter.confirm_persists()
     assert [reply.is_granted for reply in voter.sent_messages(VoteReply)] == [
         granted
