Rename kept to saved_votes

The variable holds the persisted vote records.

Rename: libs/agreement/tests/test_replica.py kept saved_votes

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -196,8 +196,12 @@
     voter.run_ticks(2.5)
     voter.handle(Received(vote_request(sender=B)))
     voter.confirm_persists()
-    kept = [one.vote for one in voter.actions if isinstance(one, Persist) and one.vote]
-    again = ReplicaDriver(durable_state=make_durable_state()._replace(vote=kept[-1]))
+    saved_votes = [
+        one.vote for one in voter.actions if isinstance(one, Persist) and one.vote
+    ]
+    again = ReplicaDriver(
+        durable_state=make_durable_state()._replace(vote=saved_votes[-1])
+    )
     again.run_ticks(2.5)
     again.handle(Received(vote_request(sender=C)))
     again.confirm_persists()
