--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -199,13 +199,13 @@
     saved_votes = [
         one.vote for one in voter.actions if isinstance(one, Persist) and one.vote
     ]
-    again = ReplicaDriver(
+    restarted_voter = ReplicaDriver(
         durable_state=make_durable_state()._replace(vote=saved_votes[-1])
     )
-    again.run_ticks(2.5)
-    again.handle(Received(vote_request(sender=C)))
-    again.confirm_persists()
-    assert not again.sent_messages(VoteReply)[0].is_granted
+    restarted_voter.run_ticks(2.5)
+    restarted_voter.handle(Received(vote_request(sender=C)))
+    restarted_voter.confirm_persists()
+    assert not restarted_voter.sent_messages(VoteReply)[0].is_granted
 
 
 @pytest.mark.parametrize(
