Rename again to replacement

The variable is the replica that replaces the lost one.

Rename: libs/agreement/tests/test_replica.py again replacement

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -310,8 +310,8 @@
 def test_a_vote_by_a_vm_that_lost_its_folder_does_not_count():
     candidate = ReplicaDriver()
     candidate.run_ticks(4.5)
-    again = ReplicaId("b", "2")
-    candidate.handle(Received(VoteReply("lab", again, A, 2, True, True)))
+    replacement = ReplicaId("b", "2")
+    candidate.handle(Received(VoteReply("lab", replacement, A, 2, True, True)))
     assert candidate.replica.core.election.is_pre_vote
 
 
