Rename again to replacement

The variable is the replica that replaces the lost one.

Rename: libs/agreement/tests/test_replica.py again replacement

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -509,8 +509,8 @@
 
 
 def test_a_vm_that_lost_its_disk_shows_as_joining_until_it_votes():
-    again = ReplicaId("c", "2")
-    repairing = Configuration(VMS, (A, B, C), (again,))
+    replacement = ReplicaId("c", "2")
+    repairing = Configuration(VMS, (A, B, C), (replacement,))
     durable_state = make_durable_state(
         entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", repairing)]
     )
@@ -522,7 +522,7 @@
     driver.confirm_persists()
     for _ in range(30):
         driver.receive_append_reply(B)
-        driver.receive_append_reply(again, log_index=0, is_matched=False)
+        driver.receive_append_reply(replacement, log_index=0, is_matched=False)
         driver.run_ticks(0.1)
     status = driver.replica.status()
     assert (status.voting_vms, status.joining_vms) == ({"a", "b"}, {"c"})
