--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -293,13 +293,15 @@
 
 
 @pytest.mark.parametrize(
-    ("mine", "theirs", "is_heard"),
+    ("own_origin", "theirs", "is_heard"),
     [("", "lab/f1", True), ("f1", "lab/f1", True), ("f1", "lab/f2", False)],
 )
-def test_a_cluster_founded_again_under_the_same_name_is_another(mine, theirs, is_heard):
+def test_a_cluster_founded_again_under_the_same_name_is_another(
+    own_origin, theirs, is_heard
+):
     driver = ReplicaDriver(
         durable_state=make_durable_state(
-            configuration=THREE_VOTERS._replace(origin=mine)
+            configuration=THREE_VOTERS._replace(origin=own_origin)
         )
     )
     driver.run_ticks(2.5)
