--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -365,9 +365,9 @@
     driver.handle(Propose(b"lost", "t"))
     driver.confirm_persists()
     last = driver.replica.core.log.last_index
-    won = data_entry(last, 9, b"won")
+    winning_entry = data_entry(last, 9, b"won")
     previous = (last - 1, driver.replica.core.log.term_at(last - 1))
-    driver.handle(Received(append_request(9, previous, (won,), last)))
+    driver.handle(Received(append_request(9, previous, (winning_entry,), last)))
     driver.confirm_persists()
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
     applied = [one for one in driver.actions if isinstance(one, Apply)]
