--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -651,8 +651,8 @@
         replica = Replica(settings, make_durable_state(), Random(seed))
         replica.handle(Tick(), 100.0)
         replica.handle(Tick(), 100.2)
-        won = VoteReply("lab", B, A, replica.core.term + 1, True, True)
-        replica.handle(Received(won), 100.21)
+        vote_reply = VoteReply("lab", B, A, replica.core.term + 1, True, True)
+        replica.handle(Received(vote_reply), 100.21)
         waits.add(round(replica.core.election_deadline - replica.core.clock, 2))
     assert len(waits) > 10
     assert max(waits) - min(waits) > 0.3
