--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -444,10 +444,10 @@
 )
 def test_what_is_refused_never_enters_the_log(code, settings, event):
     driver = make_leader(**settings)
-    last = driver.replica.core.log.last_index
+    last_index = driver.replica.core.log.last_index
     driver.give(event)
     assert driver.replies()[0].problem.code == code
-    assert driver.replica.core.log.last_index == last
+    assert driver.replica.core.log.last_index == last_index
 
 
 def test_a_founder_accepts_nothing_alone():
