--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -366,8 +366,13 @@
     driver.confirm_persists()
     last_index = driver.replica.core.log.last_index
     winning_entry = data_entry(last_index, 9, b"won")
-    previous = (last_index - 1, driver.replica.core.log.term_at(last_index - 1))
-    driver.handle(Received(append_request(9, previous, (winning_entry,), last_index)))
+    previous_position = (
+        last_index - 1,
+        driver.replica.core.log.term_at(last_index - 1),
+    )
+    driver.handle(
+        Received(append_request(9, previous_position, (winning_entry,), last_index))
+    )
     driver.confirm_persists()
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
     applied = [one for one in driver.actions if isinstance(one, Apply)]
