Rename before to earlier_round

The variable is the number of an earlier round.

Rename: libs/agreement/tests/test_replica.py before earlier_round

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -406,9 +406,9 @@
 def test_an_answer_to_an_earlier_round_does_not_vouch_for_a_read():
     driver = make_leader()
     driver.run_ticks(1.5)
-    before = driver.replica.core.leadership.round
+    earlier_round = driver.replica.core.leadership.round
     driver.handle(Read("r"))
-    driver.receive_append_reply(B, round=before)
+    driver.receive_append_reply(B, round=earlier_round)
     assert driver.replies() == []
 
 
