Rename before to former_configuration

The variable is the former configuration.

Rename: libs/agreement/tests/test_replica.py before former_configuration

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -549,10 +549,10 @@
 
 def test_a_leader_does_not_take_its_own_old_request_to_join_for_a_newcomer():
     driver = make_leader()
-    before = driver.replica.core.log.configuration
+    former_configuration = driver.replica.core.log.configuration
     driver.give(Received(JoinRequest("lab", A)))
     driver.run_ticks(0.5)
-    assert driver.replica.core.log.configuration == before
+    assert driver.replica.core.log.configuration == former_configuration
 
 
 def test_a_snapshot_on_its_way_outlasts_the_next_compaction():
