--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -380,7 +380,7 @@
 
 
 @pytest.mark.parametrize(
-    ("name", "silence_s", "jump_s", "outcomes"),
+    ("name", "since_reply_s", "jump_s", "outcomes"),
     [
         ("under the lease", 0.5, 0.0, [Outcome.CURRENT]),
         ("lease over", 1.5, 0.0, []),
@@ -388,13 +388,13 @@
         ("clock went forward", 0.1, 5.0, []),
     ],
 )
-def test_reads(name, silence_s, jump_s, outcomes):
+def test_reads(name, since_reply_s, jump_s, outcomes):
     driver = make_leader()
     driver.handle(Tick(), 0.1)
     driver.replica.core.leadership.next_heartbeat_at = 0
     driver.handle(Tick(), 0.1)
     driver.receive_append_reply(B)
-    driver.run_ticks(silence_s)
+    driver.run_ticks(since_reply_s)
     driver.now += jump_s
     driver.actions.clear()
     driver.handle(Read("r"))
