Rename without to configuration

The variable is the configuration without the leader.

Rename: libs/agreement/tests/test_replica.py without configuration

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -480,8 +480,8 @@
 
 
 def test_a_leader_whose_removal_is_not_committed_stands_again():
-    without = Configuration(("b", "c"), (B, C))
-    removal = Entry(1, 1, EntryKind.CONFIGURATION, b"", without)
+    configuration = Configuration(("b", "c"), (B, C))
+    removal = Entry(1, 1, EntryKind.CONFIGURATION, b"", configuration)
     driver = ReplicaDriver(durable_state=make_durable_state(entries=[removal]))
     driver.run_ticks(4.5)
     assert {request.to for request in driver.sent_messages(VoteRequest)} == {B, C}
