Rename learner to learner_configuration

The variable is a configuration with a learner.

Rename: libs/agreement/tests/test_replica.py learner learner_configuration

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -472,8 +472,8 @@
 
 
 def test_a_member_by_an_entry_that_was_never_committed_asks_again():
-    learner = Configuration(VMS, (A, B), (C,))
-    driver = ReplicaDriver(C, make_durable_state(configuration=learner))
+    learner_configuration = Configuration(VMS, (A, B), (C,))
+    driver = ReplicaDriver(C, make_durable_state(configuration=learner_configuration))
     driver.run_ticks(5)
     assert driver.role() == Role.LEARNER
     assert driver.sent_messages(JoinRequest)
