Rename repairing to configuration

The variable is a configuration.

Rename: libs/agreement/tests/test_replica.py repairing configuration

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -517,9 +517,9 @@
 
 def test_a_vm_that_lost_its_disk_shows_as_joining_until_it_votes():
     replacement = ReplicaId("c", "2")
-    repairing = Configuration(VMS, (A, B, C), (replacement,))
+    configuration = Configuration(VMS, (A, B, C), (replacement,))
     durable_state = make_durable_state(
-        entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", repairing)]
+        entries=[Entry(1, 1, EntryKind.CONFIGURATION, b"", configuration)]
     )
     driver = ReplicaDriver(durable_state=durable_state)
     driver.run_ticks(4.5)
