Rename asked to requests

The variable holds the StandNow messages.

Rename: libs/agreement/tests/test_replica.py asked requests

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -593,9 +593,9 @@
 def test_a_leader_that_stops_hands_over_to_a_voter_with_the_whole_log():
     driver = make_leader()
     driver.give(HandOver())
-    asked = driver.sent_messages(StandNow)
-    assert len(asked) == 1
-    assert asked[0].to in (B, C)
+    requests = driver.sent_messages(StandNow)
+    assert len(requests) == 1
+    assert requests[0].to in (B, C)
 
 
 def test_a_leader_hands_over_to_nobody_who_lacks_an_entry():
