--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -648,7 +648,7 @@
 
 
 def test_candidates_that_split_the_votes_stand_again_at_different_times():
-    waits = set()
+    retry_delays = set()
     for seed in range(20):
         settings = ReplicaSettings(
             "lab", A, VMS, lease_share=0.0, start_timeout_s=0.08, election_timeout_s=0.6
@@ -658,6 +658,6 @@
         replica.handle(Tick(), 100.2)
         vote_reply = VoteReply("lab", B, A, replica.core.term + 1, True, True)
         replica.handle(Received(vote_reply), 100.21)
-        waits.add(round(replica.core.election_deadline - replica.core.clock, 2))
-    assert len(waits) > 10
-    assert max(waits) - min(waits) > 0.3
+        retry_delays.add(round(replica.core.election_deadline - replica.core.clock, 2))
+    assert len(retry_delays) > 10
+    assert max(retry_delays) - min(retry_delays) > 0.3
