--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -500,8 +500,8 @@
 
 def test_a_snapshot_arrives_in_parts_that_may_come_twice():
     follower = ReplicaDriver(durable_state=joining_state())
-    parts = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
-    for offset, data in parts:
+    chunks = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
+    for offset, data in chunks:
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
         follower.handle(Received(chunk))
     follower.confirm_persists()
