--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -564,8 +564,8 @@
     driver.give(Propose(b"x", "t"))
     driver.confirm_persists()
     driver.answer(B)
-    commit = driver.replica.core.commit
-    driver.give(SnapshotTaken(commit, b"another"))
+    commit_index = driver.replica.core.commit
+    driver.give(SnapshotTaken(commit_index, b"another"))
     driver.confirm_persists()
     term = driver.replica.core.term
     for received in (2, 4):
