--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -151,7 +151,7 @@
     return VoteRequest(cluster, sender, to, term, *last_position, is_pre_vote)
 
 
-def test_every_message_survives_the_trip():
+def test_every_message_decodes_to_itself():
     samples = {
         VoteRequest: vote_request(),
         VoteReply: VoteReply("lab", A, B, 1, True, False),
