Rename test_a_follower_acknowledges_only_what_is_synced to test_follower_acknowledges_only_persisted_entries

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_follower_acknowledges_only_what_is_synced test_follower_acknowledges_only_persisted_entries

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -174,7 +174,7 @@
         assert MESSAGES.decode(MESSAGES.encode(message)).ok == message
 
 
-def test_a_follower_acknowledges_only_what_is_synced():
+def test_follower_acknowledges_only_persisted_entries():
     follower = ReplicaDriver()
     follower.handle(Received(append_request(entries=(data_entry(1, 2),))))
     assert follower.sent_messages(AppendReply) == []
