Rename test_a_vote_is_given_only_once_it_is_synced to test_vote_is_granted_only_once_it_is_persisted

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_vote_is_given_only_once_it_is_synced test_vote_is_granted_only_once_it_is_persisted

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -182,7 +182,7 @@
     assert follower.sent_messages(AppendReply)[0].log_index == 1
 
 
-def test_a_vote_is_given_only_once_it_is_synced():
+def test_vote_is_granted_only_once_it_is_persisted():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
     voter.handle(Received(vote_request()))
