Rename test_a_vote_is_remembered_over_a_restart to test_restarted_voter_keeps_its_vote

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_vote_is_remembered_over_a_restart test_restarted_voter_keeps_its_vote

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -191,7 +191,7 @@
     assert voter.sent_messages(VoteReply)[0].is_granted
 
 
-def test_a_vote_is_remembered_over_a_restart():
+def test_restarted_voter_keeps_its_vote():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
     voter.handle(Received(vote_request(sender=B)))
