Rename test_votes to test_vote_is_granted_only_to_an_eligible_candidate

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_votes test_vote_is_granted_only_to_an_eligible_candidate

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -245,7 +245,9 @@
         ),
     ],
 )
-def test_votes(name, durable_state, wait_s, request, granted):
+def test_vote_is_granted_only_to_an_eligible_candidate(
+    name, durable_state, wait_s, request, granted
+):
     voter = ReplicaDriver(durable_state=durable_state)
     voter.run_ticks(wait_s)
     voter.confirm_persists()
