Rename test_nobody_votes_while_a_leader_is_heard to test_voter_refuses_while_it_hears_from_a_leader

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_nobody_votes_while_a_leader_is_heard test_voter_refuses_while_it_hears_from_a_leader

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -259,7 +259,7 @@
     ], name
 
 
-def test_nobody_votes_while_a_leader_is_heard():
+def test_voter_refuses_while_it_hears_from_a_leader():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
     voter.handle(Received(append_request()))
