Rename test_a_jump_of_the_clock_does_not_shorten_the_promise_not_to_vote to test_clock_jump_does_not_end_the_vote_refusal_early

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_jump_of_the_clock_does_not_shorten_the_promise_not_to_vote test_clock_jump_does_not_end_the_vote_refusal_early

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -269,7 +269,7 @@
     assert voter.replica.core.term == 2
 
 
-def test_a_jump_of_the_clock_does_not_shorten_the_promise_not_to_vote():
+def test_clock_jump_does_not_end_the_vote_refusal_early():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
     voter.handle(Received(append_request()))
