Rename test_messages_for_another_cluster_or_folder_are_dropped to test_messages_for_other_cluster_or_folder_are_dropped

A shorter name.

Rename: libs/agreement/tests/test_replica.py test_messages_for_another_cluster_or_folder_are_dropped test_messages_for_other_cluster_or_folder_are_dropped

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -287,7 +287,7 @@
         vote_request(to=ReplicaId("a", "lost")),
     ],
 )
-def test_messages_for_another_cluster_or_folder_are_dropped(message):
+def test_messages_for_other_cluster_or_folder_are_dropped(message):
     replica = ReplicaDriver()
     replica.run_ticks(2.5)
     replica.actions.clear()
