Rename test_a_cluster_founded_again_under_the_same_name_is_another to test_cluster_founded_again_under_the_same_name_is_rejected

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_cluster_founded_again_under_the_same_name_is_another test_cluster_founded_again_under_the_same_name_is_rejected

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -298,7 +298,7 @@
     ("own_origin", "theirs", "is_heard"),
     [("", "lab/f1", True), ("f1", "lab/f1", True), ("f1", "lab/f2", False)],
 )
-def test_a_cluster_founded_again_under_the_same_name_is_another(
+def test_cluster_founded_again_under_the_same_name_is_rejected(
     own_origin, theirs, is_heard
 ):
     driver = ReplicaDriver(
