Rename test_a_vote_by_a_vm_that_lost_its_folder_does_not_count to test_vote_of_a_vm_that_lost_its_folder_is_not_counted

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_vote_by_a_vm_that_lost_its_folder_does_not_count test_vote_of_a_vm_that_lost_its_folder_is_not_counted

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -311,7 +311,7 @@
     assert (driver.replica.core.term == 2) == is_heard
 
 
-def test_a_vote_by_a_vm_that_lost_its_folder_does_not_count():
+def test_vote_of_a_vm_that_lost_its_folder_is_not_counted():
     candidate = ReplicaDriver()
     candidate.run_ticks(4.5)
     replacement = ReplicaId("b", "2")
