Rename test_a_commit_needs_a_majority_that_has_synced to test_commit_requires_a_majority_that_has_persisted

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_commit_needs_a_majority_that_has_synced test_commit_requires_a_majority_that_has_persisted

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -319,7 +319,7 @@
     assert candidate.replica.core.election.is_pre_vote
 
 
-def test_a_commit_needs_a_majority_that_has_synced():
+def test_commit_requires_a_majority_that_has_persisted():
     driver = make_leader()
     driver.handle(Propose(b"x", "t"))
     driver.receive_append_reply(B)
