Rename test_two_followers_are_a_majority_without_the_leaders_own_disk to test_two_followers_commit_before_the_leader_has_persisted

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_two_followers_are_a_majority_without_the_leaders_own_disk test_two_followers_commit_before_the_leader_has_persisted

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -328,7 +328,7 @@
     assert driver.replies()[0].outcome == Outcome.COMMITTED
 
 
-def test_two_followers_are_a_majority_without_the_leaders_own_disk():
+def test_two_followers_commit_before_the_leader_has_persisted():
     driver = make_leader()
     driver.handle(Propose(b"x", "t"))
     driver.receive_append_reply(B)
