Rename test_an_entry_of_an_earlier_term_is_not_committed_by_counting to test_earlier_term_entry_is_committed_only_with_current_term_entry

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_an_entry_of_an_earlier_term_is_not_committed_by_counting test_earlier_term_entry_is_committed_only_with_current_term_entry

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -336,7 +336,7 @@
     assert driver.replies()[0].outcome == Outcome.COMMITTED
 
 
-def test_an_entry_of_an_earlier_term_is_not_committed_by_counting():
+def test_earlier_term_entry_is_committed_only_with_current_term_entry():
     durable_state = make_durable_state(1, None, [data_entry(1, 1)])
     driver = ReplicaDriver(durable_state=durable_state)
     driver.run_ticks(4.5)
