Rename test_an_isolated_leader_steps_down_and_accepts_nothing to test_isolated_leader_steps_down_and_refuses_proposals

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_an_isolated_leader_steps_down_and_accepts_nothing test_isolated_leader_steps_down_and_refuses_proposals

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -351,7 +351,7 @@
     assert driver.replica.core.commit == 2
 
 
-def test_an_isolated_leader_steps_down_and_accepts_nothing():
+def test_isolated_leader_steps_down_and_refuses_proposals():
     driver = make_leader()
     driver.handle(Propose(b"x", "before"))
     driver.confirm_persists()
