Rename test_a_leader_without_a_majority_is_replaced_without_a_revert to test_uncommitted_entry_of_a_replaced_leader_is_not_applied

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_leader_without_a_majority_is_replaced_without_a_revert test_uncommitted_entry_of_a_replaced_leader_is_not_applied

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -362,7 +362,7 @@
     assert driver.role() != Role.LEADER
 
 
-def test_a_leader_without_a_majority_is_replaced_without_a_revert():
+def test_uncommitted_entry_of_a_replaced_leader_is_not_applied():
     driver = make_leader()
     driver.handle(Propose(b"lost", "t"))
     driver.confirm_persists()
