Rename test_reads to test_read_needs_a_lease_or_an_answered_round

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_reads test_read_needs_a_lease_or_an_answered_round

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -390,7 +390,7 @@
         ("clock went forward", 0.1, 5.0, []),
     ],
 )
-def test_reads(name, since_reply_s, jump_s, outcomes):
+def test_read_needs_a_lease_or_an_answered_round(name, since_reply_s, jump_s, outcomes):
     driver = make_leader()
     driver.handle(Tick(), 0.1)
     driver.replica.core.leadership.next_heartbeat_at = 0
