Rename test_an_answer_to_an_earlier_round_does_not_vouch_for_a_read to test_reply_to_an_earlier_round_does_not_confirm_a_read

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_an_answer_to_an_earlier_round_does_not_vouch_for_a_read test_reply_to_an_earlier_round_does_not_confirm_a_read

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -405,7 +405,7 @@
     assert [reply.outcome for reply in driver.replies()] == [Outcome.CURRENT], name
 
 
-def test_an_answer_to_an_earlier_round_does_not_vouch_for_a_read():
+def test_reply_to_an_earlier_round_does_not_confirm_a_read():
     driver = make_leader()
     driver.run_ticks(1.5)
     earlier_round = driver.replica.core.leadership.round
