Rename test_a_new_leader_answers_no_read_before_it_has_committed to test_new_leader_refuses_reads_before_its_first_commit

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_new_leader_answers_no_read_before_it_has_committed test_new_leader_refuses_reads_before_its_first_commit

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -414,7 +414,7 @@
     assert driver.replies() == []
 
 
-def test_a_new_leader_answers_no_read_before_it_has_committed():
+def test_new_leader_refuses_reads_before_its_first_commit():
     driver = ReplicaDriver()
     driver.run_ticks(4.5)
     driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
