Rename test_a_failing_disk_ends_all_part_in_the_log to test_replica_stops_participating_after_a_disk_failure

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_failing_disk_ends_all_part_in_the_log test_replica_stops_participating_after_a_disk_failure

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -424,7 +424,7 @@
     assert driver.replies()[0].problem.code == "not-ready"
 
 
-def test_a_failing_disk_ends_all_part_in_the_log():
+def test_replica_stops_participating_after_a_disk_failure():
     driver = make_leader()
     driver.give(Propose(b"x", "t"))
     problem = Problem("disk-full", "the disk is full")
