Rename test_what_is_refused_never_enters_the_log to test_refused_request_is_not_appended

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_what_is_refused_never_enters_the_log test_refused_request_is_not_appended

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -449,7 +449,7 @@
         ("membership-size", {}, ChangeMembership(("a", "b", "b"), "t")),
     ],
 )
-def test_what_is_refused_never_enters_the_log(code, settings, event):
+def test_refused_request_is_not_appended(code, settings, event):
     driver = make_leader(**settings)
     last_index = driver.replica.core.log.last_index
     driver.give(event)
