Rename test_a_founder_accepts_nothing_alone to test_founder_refuses_proposals_without_other_voters

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_founder_accepts_nothing_alone test_founder_refuses_proposals_without_other_voters

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -457,7 +457,7 @@
     assert driver.replica.core.log.last_index == last_index
 
 
-def test_a_founder_accepts_nothing_alone():
+def test_founder_refuses_proposals_without_other_voters():
     driver = ReplicaDriver(durable_state=founding_state(A, VMS))
     driver.run_ticks(0.2)
     driver.confirm_persists()
