Rename test_a_joining_vm_asks_and_neither_stands_nor_is_let_in_unasked to test_joining_replica_sends_join_requests_and_no_vote_requests

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_joining_vm_asks_and_neither_stands_nor_is_let_in_unasked test_joining_replica_sends_join_requests_and_no_vote_requests

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -466,7 +466,7 @@
     assert driver.replies()[0].problem.code == "too-few-voters"
 
 
-def test_a_joining_vm_asks_and_neither_stands_nor_is_let_in_unasked():
+def test_joining_replica_sends_join_requests_and_no_vote_requests():
     driver = ReplicaDriver(durable_state=joining_state())
     driver.run_ticks(9)
     assert driver.role() == Role.OUTSIDER
