Rename test_a_member_by_an_entry_that_was_never_committed_asks_again to test_member_without_a_leader_sends_join_requests

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_member_by_an_entry_that_was_never_committed_asks_again test_member_without_a_leader_sends_join_requests

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -473,7 +473,7 @@
     assert driver.sent_messages(JoinRequest) and not driver.sent_messages(VoteRequest)
 
 
-def test_a_member_by_an_entry_that_was_never_committed_asks_again():
+def test_member_without_a_leader_sends_join_requests():
     learner_configuration = Configuration(VMS, (A, B), (C,))
     driver = ReplicaDriver(C, make_durable_state(configuration=learner_configuration))
     driver.run_ticks(5)
