Rename test_a_leader_whose_removal_is_not_committed_stands_again to test_voter_with_uncommitted_removal_starts_an_election

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_leader_whose_removal_is_not_committed_stands_again test_voter_with_uncommitted_removal_starts_an_election

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -481,7 +481,7 @@
     assert driver.sent_messages(JoinRequest)
 
 
-def test_a_leader_whose_removal_is_not_committed_stands_again():
+def test_voter_with_uncommitted_removal_starts_an_election():
     configuration = Configuration(("b", "c"), (B, C))
     removal = Entry(1, 1, EntryKind.CONFIGURATION, b"", configuration)
     driver = ReplicaDriver(durable_state=make_durable_state(entries=[removal]))
