Rename test_a_member_that_lost_what_it_acknowledged_is_sent_it_again to test_entries_lost_by_a_member_are_sent_again

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_member_that_lost_what_it_acknowledged_is_sent_it_again test_entries_lost_by_a_member_are_sent_again

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -489,7 +489,7 @@
     assert {request.to for request in driver.sent_messages(VoteRequest)} == {B, C}
 
 
-def test_a_member_that_lost_what_it_acknowledged_is_sent_it_again():
+def test_entries_lost_by_a_member_are_sent_again():
     driver = make_leader()
     driver.give(Propose(b"x", "t"))
     driver.confirm_persists()
