Rename test_a_snapshot_arrives_in_parts_that_may_come_twice to test_snapshot_chunks_may_be_duplicated_and_reordered

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_snapshot_arrives_in_parts_that_may_come_twice test_snapshot_chunks_may_be_duplicated_and_reordered

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -500,7 +500,7 @@
     assert sent[0].entries[0].log_index == 1
 
 
-def test_a_snapshot_arrives_in_parts_that_may_come_twice():
+def test_snapshot_chunks_may_be_duplicated_and_reordered():
     follower = ReplicaDriver(durable_state=joining_state())
     chunks = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
     for offset, data in chunks:
