Rename test_a_vm_that_lost_its_disk_shows_as_joining_until_it_votes to test_vm_that_lost_its_disk_is_joining_until_it_votes

A shorter name.

Rename: libs/agreement/tests/test_replica.py test_a_vm_that_lost_its_disk_shows_as_joining_until_it_votes test_vm_that_lost_its_disk_is_joining_until_it_votes

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -517,7 +517,7 @@
     assert follower.replica.core.log.snapshot.data == b"abcdef"
 
 
-def test_a_vm_that_lost_its_disk_shows_as_joining_until_it_votes():
+def test_vm_that_lost_its_disk_is_joining_until_it_votes():
     replacement = ReplicaId("c", "2")
     configuration = Configuration(VMS, (A, B, C), (replacement,))
     durable_state = make_durable_state(
