Rename test_a_cluster_is_not_whole_before_its_last_step_is_committed to test_status_is_whole_only_once_the_configuration_is_committed

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_cluster_is_not_whole_before_its_last_step_is_committed test_status_is_whole_only_once_the_configuration_is_committed

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -538,7 +538,7 @@
     assert not status.is_whole
 
 
-def test_a_cluster_is_not_whole_before_its_last_step_is_committed():
+def test_status_is_whole_only_once_the_configuration_is_committed():
     driver = make_leader()
     assert driver.replica.status().is_whole
     driver.give(ChangeMembership(VMS, "t"))
