Rename test_a_leader_does_not_take_its_own_old_request_to_join_for_a_newcomer to test_leader_ignores_its_own_earlier_join_request

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_leader_does_not_take_its_own_old_request_to_join_for_a_newcomer test_leader_ignores_its_own_earlier_join_request

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -549,7 +549,7 @@
     assert driver.replica.status().is_whole
 
 
-def test_a_leader_does_not_take_its_own_old_request_to_join_for_a_newcomer():
+def test_leader_ignores_its_own_earlier_join_request():
     driver = make_leader()
     former_configuration = driver.replica.core.log.configuration
     driver.give(Received(JoinRequest("lab", A)))
