Rename test_a_snapshot_on_its_way_outlasts_the_next_compaction to test_snapshot_transfer_continues_after_a_newer_compaction

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_snapshot_on_its_way_outlasts_the_next_compaction test_snapshot_transfer_continues_after_a_newer_compaction

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -557,7 +557,7 @@
     assert driver.replica.core.log.configuration == former_configuration
 
 
-def test_a_snapshot_on_its_way_outlasts_the_next_compaction():
+def test_snapshot_transfer_continues_after_a_newer_compaction():
     durable_state = make_durable_state()._replace(
         snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
     )
