Rename test_idle_costs_two_messages_a_follower_and_second to test_idle_leader_sends_each_follower_two_messages_per_second

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_idle_costs_two_messages_a_follower_and_second test_idle_leader_sends_each_follower_two_messages_per_second

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -581,7 +581,7 @@
     assert driver.sent_messages(AppendRequest)[0].entries[0].log_index == 6
 
 
-def test_idle_costs_two_messages_a_follower_and_second():
+def test_idle_leader_sends_each_follower_two_messages_per_second():
     driver = make_leader()
     for _ in range(100):
         driver.give(Tick(), 0.1)
