Rename test_a_leader_that_stops_hands_over_to_a_voter_with_the_whole_log to test_stopping_leader_transfers_leadership_to_a_voter_with_its_log

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_leader_that_stops_hands_over_to_a_voter_with_the_whole_log test_stopping_leader_transfers_leadership_to_a_voter_with_its_log

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -592,7 +592,7 @@
     assert max(len(MESSAGES.encode(one)) for one in sent) < 100
 
 
-def test_a_leader_that_stops_hands_over_to_a_voter_with_the_whole_log():
+def test_stopping_leader_transfers_leadership_to_a_voter_with_its_log():
     driver = make_leader()
     driver.give(HandOver())
     requests = driver.sent_messages(StandNow)
