Rename test_a_leader_hands_over_to_nobody_who_lacks_an_entry to test_leadership_is_not_transferred_to_a_voter_that_lacks_an_entry

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_leader_hands_over_to_nobody_who_lacks_an_entry test_leadership_is_not_transferred_to_a_voter_that_lacks_an_entry

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -600,7 +600,7 @@
     assert requests[0].to in (B, C)
 
 
-def test_a_leader_hands_over_to_nobody_who_lacks_an_entry():
+def test_leadership_is_not_transferred_to_a_voter_that_lacks_an_entry():
     driver = make_leader()
     driver.give(Propose(b"x", "t"))
     driver.give(HandOver())
