Rename test_a_voter_stands_at_once_when_the_leader_asks_it to test_voter_starts_an_election_at_once_at_the_leaders_request

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_voter_stands_at_once_when_the_leader_asks_it test_voter_starts_an_election_at_once_at_the_leaders_request

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -607,7 +607,7 @@
     assert driver.sent_messages(StandNow) == []
 
 
-def test_a_voter_stands_at_once_when_the_leader_asks_it():
+def test_voter_starts_an_election_at_once_at_the_leaders_request():
     driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=2))
     driver.handle(Received(append_request(sender=A, to=B)))
     driver.handle(Received(StandNow("lab", A, B, 2)))
