Rename test_an_old_request_to_stand_is_ignored to test_stand_now_of_an_earlier_term_is_ignored

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_an_old_request_to_stand_is_ignored test_stand_now_of_an_earlier_term_is_ignored

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -617,7 +617,7 @@
     assert all(one.is_leadership_transfer and not one.is_pre_vote for one in requests)
 
 
-def test_an_old_request_to_stand_is_ignored():
+def test_stand_now_of_an_earlier_term_is_ignored():
     driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=3))
     assert driver.handle(Received(StandNow("lab", A, B, 2))) == []
 
