Rename test_a_vote_against_a_live_leader_is_given_only_at_a_handover to test_vote_despite_a_live_leader_needs_a_leadership_transfer

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_vote_against_a_live_leader_is_given_only_at_a_handover test_vote_despite_a_live_leader_needs_a_leadership_transfer

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -623,7 +623,7 @@
 
 
 @pytest.mark.parametrize("is_leadership_transfer", [False, True])
-def test_a_vote_against_a_live_leader_is_given_only_at_a_handover(
+def test_vote_despite_a_live_leader_needs_a_leadership_transfer(
     is_leadership_transfer,
 ):
     voter = ReplicaDriver(replica_id=C, durable_state=make_durable_state(term=2))
