Rename test_a_replica_without_leases_stands_soon_after_its_start to test_replica_without_leases_starts_its_pre_vote_early

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_replica_without_leases_stands_soon_after_its_start test_replica_without_leases_starts_its_pre_vote_early

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -636,7 +636,7 @@
     assert voter.sent_messages(VoteReply)[-1].is_granted == is_leadership_transfer
 
 
-def test_a_replica_without_leases_stands_soon_after_its_start():
+def test_replica_without_leases_starts_its_pre_vote_early():
     driver = ReplicaDriver(lease_share=0.0, start_timeout_s=0.15)
     driver.handle(Tick())
     assert driver.role() == Role.FOLLOWER
