Rename test_a_short_start_is_refused_where_a_leader_reads_under_a_lease to test_short_start_timeout_is_rejected_with_a_read_lease

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_a_short_start_is_refused_where_a_leader_reads_under_a_lease test_short_start_timeout_is_rejected_with_a_read_lease

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -644,7 +644,7 @@
     assert driver.role() == Role.CANDIDATE
 
 
-def test_a_short_start_is_refused_where_a_leader_reads_under_a_lease():
+def test_short_start_timeout_is_rejected_with_a_read_lease():
     with pytest.raises(ValueError, match="lease"):
         ReplicaDriver(start_timeout_s=0.1)
 
