Rename test_candidates_that_split_the_votes_stand_again_at_different_times to test_split_vote_candidates_retry_at_different_times

The name says what is checked.

Rename: libs/agreement/tests/test_replica.py test_candidates_that_split_the_votes_stand_again_at_different_times test_split_vote_candidates_retry_at_different_times

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -649,7 +649,7 @@
         ReplicaDriver(start_timeout_s=0.1)
 
 
-def test_candidates_that_split_the_votes_stand_again_at_different_times():
+def test_split_vote_candidates_retry_at_different_times():
     retry_delays = set()
     for seed in range(20):
         settings = ReplicaSettings(
