--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -90,7 +90,7 @@
         return False
 
 
-@pytest.mark.parametrize("alive", [(0, 1, 2), (0, 1), (0, 2), (1, 2)])
+@pytest.mark.parametrize("started", [(0, 1, 2), (0, 1), (0, 2), (1, 2)])
 def test_simultaneous_start_commits_within_one_election_timeout(started):
     commit_times = [
         ClusterSimulation(started, seed).run_until_commit() for seed in range(100)
@@ -103,8 +103,10 @@
 
 
 def granted_votes(actions):
-    messages = [action.message for action in actions if isinstance(one, Send)]
-    return [message.is_granted for message in messages if isinstance(one, VoteReply)]
+    messages = [action.message for action in actions if isinstance(action, Send)]
+    return [
+        message.is_granted for message in messages if isinstance(message, VoteReply)
+    ]
 
 
 def pre_vote_candidate(replica_number):
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -116,7 +116,7 @@
 
 def make_leader(durable_state=None, **settings):
     """Return a leader whose first entry is committed."""
-    driver = ReplicaDriver(durable_state=restored, **settings)
+    driver = ReplicaDriver(durable_state=durable_state, **settings)
     driver.run_ticks(4.5)
     assert driver.role() == Role.CANDIDATE
     term = driver.replica.core.term
@@ -209,7 +209,7 @@
 
 
 @pytest.mark.parametrize(
-    ("name", "durable_state", "wait_s", "request_", "granted"),
+    ("name", "durable_state", "wait_s", "message", "is_granted"),
     [
         ("free", make_durable_state(), 2.5, vote_request(), True),
         ("trial", make_durable_state(), 2.5, vote_request(is_pre_vote=True), True),
@@ -246,16 +246,16 @@
     ],
 )
 def test_vote_is_granted_only_to_an_eligible_candidate(
-    name, durable_state, wait_s, request, granted
+    name, durable_state, wait_s, message, is_granted
 ):
     voter = ReplicaDriver(durable_state=durable_state)
     voter.run_ticks(wait_s)
     voter.confirm_persists()
     voter.actions.clear()
-    voter.handle(Received(request))
+    voter.handle(Received(message))
     voter.confirm_persists()
     assert [reply.is_granted for reply in voter.sent_messages(VoteReply)] == [
-        granted
+        is_granted
     ], name
 
 
@@ -295,11 +295,11 @@
 
 
 @pytest.mark.parametrize(
-    ("own_origin", "theirs", "is_heard"),
+    ("own_origin", "message_cluster", "is_accepted"),
     [("", "lab/f1", True), ("f1", "lab/f1", True), ("f1", "lab/f2", False)],
 )
 def test_cluster_founded_again_under_the_same_name_is_rejected(
-    own_origin, theirs, is_heard
+    own_origin, message_cluster, is_accepted
 ):
     driver = ReplicaDriver(
         durable_state=make_durable_state(
@@ -307,8 +307,8 @@
         )
     )
     driver.run_ticks(2.5)
-    driver.handle(Received(append_request(cluster=theirs)))
-    assert (driver.replica.core.term == 2) == is_heard
+    driver.handle(Received(append_request(cluster=message_cluster)))
+    assert (driver.replica.core.term == 2) == is_accepted
 
 
 def test_vote_of_a_vm_that_lost_its_folder_is_not_counted():
@@ -426,17 +426,17 @@
 
 def test_replica_stops_participating_after_a_disk_failure():
     driver = make_leader()
-    driver.give(Propose(b"x", "t"))
+    driver.handle(Propose(b"x", "t"))
     problem = Problem("disk-full", "the disk is full")
-    driver.give(PersistFailed(driver.pending_persists.pop(), problem))
+    driver.handle(PersistFailed(driver.pending_persists.pop(), problem))
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
     assert driver.role() == Role.FAILED
     driver.actions.clear()
     driver.run_ticks(9)
-    driver.give(Received(vote_request(term=9)))
-    driver.give(Received(append_request(9)))
+    driver.handle(Received(vote_request(term=9)))
+    driver.handle(Received(append_request(9)))
     assert driver.actions == []
-    driver.give(Propose(b"x", "u"))
+    driver.handle(Propose(b"x", "u"))
     assert driver.replies()[0].problem.code == "replica-failed"
 
 
@@ -452,7 +452,7 @@
 def test_refused_request_is_not_appended(code, settings, event):
     driver = make_leader(**settings)
     last_index = driver.replica.core.log.last_index
-    driver.give(event)
+    driver.handle(event)
     assert driver.replies()[0].problem.code == code
     assert driver.replica.core.log.last_index == last_index
 
@@ -491,7 +491,7 @@
 
 def test_entries_lost_by_a_member_are_sent_again():
     driver = make_leader()
-    driver.give(Propose(b"x", "t"))
+    driver.handle(Propose(b"x", "t"))
     driver.confirm_persists()
     driver.receive_append_reply(B)
     driver.actions.clear()
@@ -541,7 +541,7 @@
 def test_status_is_whole_only_once_the_configuration_is_committed():
     driver = make_leader()
     assert driver.replica.status().is_whole
-    driver.give(ChangeMembership(VMS, "t"))
+    driver.handle(ChangeMembership(VMS, "t"))
     driver.confirm_persists()
     assert not driver.replica.status().is_whole
     driver.receive_append_reply(B)
@@ -552,7 +552,7 @@
 def test_leader_ignores_its_own_earlier_join_request():
     driver = make_leader()
     former_configuration = driver.replica.core.log.configuration
-    driver.give(Received(JoinRequest("lab", A)))
+    driver.handle(Received(JoinRequest("lab", A)))
     driver.run_ticks(0.5)
     assert driver.replica.core.log.configuration == former_configuration
 
@@ -562,31 +562,31 @@
         snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
     )
     driver = make_leader(durable_state=durable_state, chunk_bytes=2, keep_entries=0)
-    driver.answer(C, log_index=1, is_matched=False)
-    driver.give(Propose(b"x", "t"))
+    driver.receive_append_reply(C, log_index=1, is_matched=False)
+    driver.handle(Propose(b"x", "t"))
     driver.confirm_persists()
-    driver.answer(B)
+    driver.receive_append_reply(B)
     commit_index = driver.replica.core.commit
-    driver.give(SnapshotTaken(commit_index, b"another"))
+    driver.handle(SnapshotTaken(commit_index, b"another"))
     driver.confirm_persists()
     term = driver.replica.core.term
     for received in (2, 4):
         round_number = driver.replica.core.leadership.round
         reply = SnapshotReply("lab", C, A, term, 5, received, round_number)
-        driver.give(Received(reply))
+        driver.handle(Received(reply))
     chunks = driver.sent_messages(SnapshotChunk)
     assert [(one.log_index, one.offset) for one in chunks] == [(5, 0), (5, 2), (5, 4)]
     driver.actions.clear()
-    driver.answer(C, log_index=5)
+    driver.receive_append_reply(C, log_index=5)
     assert driver.sent_messages(AppendRequest)[0].entries[0].log_index == 6
 
 
 def test_idle_leader_sends_each_follower_two_messages_per_second():
     driver = make_leader()
     for _ in range(100):
-        driver.give(Tick(), 0.1)
-        driver.answer(B)
-        driver.answer(C)
+        driver.handle(Tick(), 0.1)
+        driver.receive_append_reply(B)
+        driver.receive_append_reply(C)
     sent = driver.sent_messages(AppendRequest)
     assert len(sent) <= 2 * 2 * 10 + 2
     assert max(len(MESSAGES.encode(one)) for one in sent) < 100
@@ -594,7 +594,7 @@
 
 def test_stopping_leader_transfers_leadership_to_a_voter_with_its_log():
     driver = make_leader()
-    driver.give(HandOver())
+    driver.handle(HandOver())
     requests = driver.sent_messages(StandNow)
     assert len(requests) == 1
     assert requests[0].to in (B, C)
@@ -602,8 +602,8 @@
 
 def test_leadership_is_not_transferred_to_a_voter_that_lacks_an_entry():
     driver = make_leader()
-    driver.give(Propose(b"x", "t"))
-    driver.give(HandOver())
+    driver.handle(Propose(b"x", "t"))
+    driver.handle(HandOver())
     assert driver.sent_messages(StandNow) == []
 
 
