--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -101,7 +101,7 @@
         self.random = random
         self.vote_record = durable_state.vote
         self.log = Log(durable_state.snapshot, durable_state.entries)
-        self.synced_index = self.log.last_index
+        self.persisted_index = self.log.last_index
         self.commit = durable_state.snapshot.log_index
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
@@ -254,7 +254,7 @@
         first_index = entries[0].log_index
         if first_index <= self.commit:
             raise AssertionError(f"cannot replace committed entry {first_index}")
-        self.synced_index = min(self.synced_index, first_index - 1)
+        self.persisted_index = min(self.persisted_index, first_index - 1)
         for pending in self.pending_persists.values():
             pending.last_index = min(pending.last_index, first_index - 1)
         self.log.append(entries)
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -74,7 +74,7 @@
         core.log.compact(snapshot, keep_entries=0)
     else:
         core.log.reset(snapshot)
-        core.synced_index = snapshot.log_index
+        core.persisted_index = snapshot.log_index
         for pending in core.pending_persists.values():
             pending.last_index = snapshot.log_index
     core.commit = snapshot.log_index
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -201,7 +201,7 @@
     if leader_state is None:
         return
     quorum_index = leader_state.quorum_match_index(
-        core.log.configuration, core.synced_index
+        core.log.configuration, core.persisted_index
     )
     if quorum_index <= core.commit or core.log.term_at(quorum_index) != core.term:
         return
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -172,7 +172,7 @@
     def _(self, event: Persisted) -> None:
         core = self.core
         pending_persist = core.pending_persists.pop(event.number)
-        core.synced_index = pending_persist.last_index
+        core.persisted_index = pending_persist.last_index
         core.actions.extend(pending_persist.deferred_actions)
         if not core.pending_persists:
             voting.count_own_vote(core)
