--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -225,7 +225,7 @@
         """Request that a message be sent at once."""
         self.actions.append(Send(to, message))
 
-    def send_after_sync(self, message: Message, to: VmId) -> None:
+    def send_after_persist(self, message: Message, to: VmId) -> None:
         """Request that a message be sent after all pending persists."""
         if self.pending_persists:
             last_persist = next(reversed(self.pending_persists.values()))
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -115,7 +115,7 @@
         log_index,
         message.round,
     )
-    core.send_after_sync(reply, message.sender.vm)
+    core.send_after_persist(reply, message.sender.vm)
 
 
 def _send_snapshot_reply(
@@ -130,4 +130,4 @@
         received_bytes,
         message.round,
     )
-    core.send_after_sync(reply, message.sender.vm)
+    core.send_after_persist(reply, message.sender.vm)
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -195,4 +195,4 @@
         message.is_pre_vote,
         is_granted,
     )
-    core.send_after_sync(reply, message.sender.vm)
+    core.send_after_persist(reply, message.sender.vm)
