Rename synced to persisted_index

The parameter is the last persisted index.

Rename: libs/agreement/src/kumquatmux_agreement/leader_state.py synced persisted_index

--- a/libs/agreement/src/kumquatmux_agreement/leader_state.py
+++ b/libs/agreement/src/kumquatmux_agreement/leader_state.py
@@ -166,7 +166,9 @@
         ]
         return int(_quorum_value(rounds, configuration.quorum))
 
-    def quorum_match_index(self, configuration: Configuration, synced: int) -> int:
+    def quorum_match_index(
+        self, configuration: Configuration, persisted_index: int
+    ) -> int:
         """Return the last entry that a quorum has persisted.
 
         Args:
@@ -175,7 +177,7 @@
         """
         own_id = self.settings.replica
         indexes = [
-            synced if voter == own_id else self.progress[voter].match_index
+            persisted_index if voter == own_id else self.progress[voter].match_index
             for voter in configuration.voters
         ]
         return int(_quorum_value(indexes, configuration.quorum))
