Rename who to replica

The variable is a replica.

Rename: libs/agreement/src/kumquatmux_agreement/leader_state.py who replica

--- a/libs/agreement/src/kumquatmux_agreement/leader_state.py
+++ b/libs/agreement/src/kumquatmux_agreement/leader_state.py
@@ -209,7 +209,9 @@
         """
         request_cutoff = steady_now - 3 * self.settings.join_period_s
         recent_requests = {
-            who: at for who, at in self.join_requests.items() if at > request_cutoff
+            replica: at
+            for replica, at in self.join_requests.items()
+            if at > request_cutoff
         }
         self.join_requests = recent_requests
         members = {*self.progress, self.settings.replica}
