--- a/libs/agreement/src/kumquatmux_agreement/leader_state.py
+++ b/libs/agreement/src/kumquatmux_agreement/leader_state.py
@@ -209,8 +209,8 @@
         """
         request_cutoff = steady_now - 3 * self.settings.join_period_s
         recent_requests = {
-            replica: at
-            for replica, at in self.join_requests.items()
+            replica: requested_at
+            for replica, requested_at in self.join_requests.items()
             if at > request_cutoff
         }
         self.join_requests = recent_requests
