--- a/libs/agreement/src/kumquatmux_agreement/leader_state.py
+++ b/libs/agreement/src/kumquatmux_agreement/leader_state.py
@@ -215,7 +215,9 @@
         }
         self.join_requests = recent_requests
         members = {*self.progress, self.settings.replica}
-        return tuple(sorted(who for who in recent_requests if who not in members))
+        return tuple(
+            sorted(replica for replica in recent_requests if who not in members)
+        )
 
 
 def _quorum_value(values: list[float] | list[int], quorum: int) -> float:
