--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -53,7 +53,9 @@
     def configuration_at(self, index: int) -> Configuration:
         """Return the configuration in effect after an entry."""
         configurations = [
-            configuration for at, configuration in self.configurations if at <= index
+            configuration
+            for entry_index, configuration in self.configurations
+            if at <= index
         ]
         return configurations[-1]
 
