Rename pending to pending_persist

The variable is a PendingPersist.

Rename: libs/agreement/src/kumquatmux_agreement/core.py pending pending_persist

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -255,8 +255,10 @@
         if first_index <= self.commit:
             raise AssertionError(f"cannot replace committed entry {first_index}")
         self.persisted_index = min(self.persisted_index, first_index - 1)
-        for pending in self.pending_persists.values():
-            pending.last_index = min(pending.last_index, first_index - 1)
+        for pending_persist in self.pending_persists.values():
+            pending_persist.last_index = min(
+                pending_persist.last_index, first_index - 1
+            )
         self.log.append(entries)
         self.persist(entries=entries)
         if any(entry.kind == EntryKind.CONFIGURATION for entry in entries):
