Rename pending to pending_persist

The variable is a PendingPersist.

Rename: libs/agreement/src/kumquatmux_agreement/following.py pending pending_persist

--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -75,8 +75,8 @@
     else:
         core.log.reset(snapshot)
         core.persisted_index = snapshot.log_index
-        for pending in core.pending_persists.values():
-            pending.last_index = snapshot.log_index
+        for pending_persist in core.pending_persists.values():
+            pending_persist.last_index = snapshot.log_index
     core.commit = snapshot.log_index
     core.last_snapshot_index = snapshot.log_index
     core.persist(snapshot=snapshot, keep_entries=is_in_log)
