--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -107,9 +107,15 @@
     ):
         core = self.replica.core
         round_number = core.leadership.round if round is None else round
-        last = core.log.last_index if log_index is None else log_index
+        acknowledged_index = core.log.last_index if log_index is None else log_index
         reply = AppendReply(
-            "lab", sender, core.replica_id, core.term, is_matched, last, round_number
+            "lab",
+            sender,
+            core.replica_id,
+            core.term,
+            is_matched,
+            acknowledged_index,
+            round_number,
         )
         return self.handle(Received(reply))
 
