Rename sent to requests

The variable holds AppendRequest messages.

Rename: libs/agreement/tests/test_replica.py sent requests

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -502,8 +502,8 @@
     driver.receive_append_reply(B)
     driver.actions.clear()
     driver.receive_append_reply(B, log_index=1, is_matched=False)
-    sent = driver.sent_messages(AppendRequest)
-    assert sent[0].entries[0].log_index == 1
+    requests = driver.sent_messages(AppendRequest)
+    assert requests[0].entries[0].log_index == 1
 
 
 def test_snapshot_chunks_may_be_duplicated_and_reordered():
