Rename sent to requests

The variable holds AppendRequest messages.

Rename: libs/agreement/tests/test_replica.py sent requests

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -593,9 +593,9 @@
         driver.handle(Tick(), 0.1)
         driver.receive_append_reply(B)
         driver.receive_append_reply(C)
-    sent = driver.sent_messages(AppendRequest)
-    assert len(sent) <= 2 * 2 * 10 + 2
-    assert max(len(MESSAGES.encode(one)) for one in sent) < 100
+    requests = driver.sent_messages(AppendRequest)
+    assert len(requests) <= 2 * 2 * 10 + 2
+    assert max(len(MESSAGES.encode(one)) for one in requests) < 100
 
 
 def test_stopping_leader_transfers_leadership_to_a_voter_with_its_log():
