Rename received to received_bytes

The variable is a number of bytes.

Rename: libs/agreement/tests/test_replica.py received received_bytes

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -576,9 +576,9 @@
     driver.handle(SnapshotTaken(commit_index, b"another"))
     driver.confirm_persists()
     term = driver.replica.core.term
-    for received in (2, 4):
+    for received_bytes in (2, 4):
         round_number = driver.replica.core.leadership.round
-        reply = SnapshotReply("lab", C, A, term, 5, received, round_number)
+        reply = SnapshotReply("lab", C, A, term, 5, received_bytes, round_number)
         driver.handle(Received(reply))
     chunks = driver.sent_messages(SnapshotChunk)
     assert [(one.log_index, one.offset) for one in chunks] == [(5, 0), (5, 2), (5, 4)]
