Rename applied to apply_actions

The variable holds Apply actions.

Rename: libs/agreement/tests/test_replica.py applied apply_actions

--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -383,8 +383,8 @@
     )
     driver.confirm_persists()
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
-    applied = [one for one in driver.actions if isinstance(one, Apply)]
-    assert [one.data for one in applied[-1].entries] == [b"won"]
+    apply_actions = [one for one in driver.actions if isinstance(one, Apply)]
+    assert [one.data for one in apply_actions[-1].entries] == [b"won"]
 
 
 @pytest.mark.parametrize(
