--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -158,7 +158,7 @@
 
 
 def test_every_message_decodes_to_itself():
-    samples = {
+    messages_by_type = {
         VoteRequest: vote_request(),
         VoteReply: VoteReply("lab", A, B, 1, True, False),
         AppendRequest: append_request(
@@ -175,8 +175,8 @@
         JoinRequest: JoinRequest("lab", A),
         StandNow: StandNow("lab", A, B, 1),
     }
-    assert set(samples) == set(MESSAGE_TYPES.values())
-    for message in samples.values():
+    assert set(messages_by_type) == set(MESSAGE_TYPES.values())
+    for message in messages_by_type.values():
         assert MESSAGES.decode(MESSAGES.encode(message)).ok == message
 
 
