Rename following to next_step

The variable is the next configuration.

Rename: libs/agreement/tests/test_membership.py following next_step

--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -108,11 +108,11 @@
 
 @pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
 def test_quorums_of_consecutive_configurations_overlap(name):
-    current, _, following = MEMBERSHIP_STEPS[name]
-    if following is None:
+    current, _, next_step = MEMBERSHIP_STEPS[name]
+    if next_step is None:
         return
-    union = set(current.voters) | set(following.voters)
-    assert current.quorum + following.quorum > len(union)
+    union = set(current.voters) | set(next_step.voters)
+    assert current.quorum + next_step.quorum > len(union)
 
 
 @pytest.mark.parametrize(
