Rename expected to expected_configuration

The variable is the expected configuration.

Rename: libs/agreement/tests/test_membership.py expected expected_configuration

--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -102,8 +102,8 @@
 
 @pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
 def test_next_configuration(name):
-    current, view, expected = MEMBERSHIP_STEPS[name]
-    assert next_configuration(current, view) == expected
+    current, view, expected_configuration = MEMBERSHIP_STEPS[name]
+    assert next_configuration(current, view) == expected_configuration
 
 
 @pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
