Rename ready to has_enough_voters

The parameter tells whether there are enough voters.

Rename: libs/agreement/tests/test_membership.py ready has_enough_voters

--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -127,7 +127,9 @@
         (tuple("abcde"), (A, B, C, D, E), 3, True),
     ],
 )
-def test_quorum_survives_loss_of_a_minority_of_wanted_vms(vms, voters, quorum, ready):
+def test_quorum_survives_loss_of_a_minority_of_wanted_vms(
+    vms, voters, quorum, has_enough_voters
+):
     configuration = Configuration(vms, voters)
     assert configuration.quorum == quorum
-    assert configuration.is_ready == ready
+    assert configuration.is_ready == has_enough_voters
