Rename losses to tolerated_losses

The variable is the number of tolerated losses.

Rename: libs/agreement/tests/test_seats.py losses tolerated_losses

--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -13,7 +13,7 @@
 
 
 def test_voter_count_survives_the_tolerated_losses():
-    assert [voters_for(losses) for losses in (0, 1, 2)] == [1, 3, 5]
+    assert [voters_for(tolerated_losses) for tolerated_losses in (0, 1, 2)] == [1, 3, 5]
 
 
 def test_selection_is_kept_while_all_voter_vms_are_reachable():
