--- a/libs/agreement/src/kumquatmux_agreement/leader_state.py
+++ b/libs/agreement/src/kumquatmux_agreement/leader_state.py
@@ -173,7 +173,7 @@
 
         Args:
             configuration: Configuration whose voters are counted.
-            synced: Last entry that the leader itself has persisted.
+            persisted_index: Last entry that the leader itself has persisted.
         """
         own_id = self.settings.replica
         indexes = [
@@ -211,12 +211,12 @@
         recent_requests = {
             replica: requested_at
             for replica, requested_at in self.join_requests.items()
-            if at > request_cutoff
+            if requested_at > request_cutoff
         }
         self.join_requests = recent_requests
         members = {*self.progress, self.settings.replica}
         return tuple(
-            sorted(replica for replica in recent_requests if who not in members)
+            sorted(replica for replica in recent_requests if replica not in members)
         )
 
 
--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -55,7 +55,7 @@
         configurations = [
             configuration
             for entry_index, configuration in self.configurations
-            if at <= index
+            if entry_index <= index
         ]
         return configurations[-1]
 
--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -116,7 +116,7 @@
 
 
 @pytest.mark.parametrize(
-    ("vms", "voters", "quorum", "ready"),
+    ("vms", "voters", "quorum", "has_enough_voters"),
     [
         (("a",), (A,), 1, True),
         (VMS_ABC, (A,), 1, False),
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -79,7 +79,7 @@
         self.now += delay_s
         actions = self.replica.handle(event, self.now)
         self.pending_persists += [
-            one.number for one in actions if isinstance(one, Persist)
+            action.number for action in actions if isinstance(action, Persist)
         ]
         self.actions += actions
         return actions
@@ -93,11 +93,13 @@
             self.handle(Tick(), 0.1)
 
     def sent_messages(self, message_type):
-        sends = (one for one in self.actions if isinstance(one, Send))
-        return [one.message for one in sends if isinstance(one.message, message_type)]
+        sends = (action for action in self.actions if isinstance(action, Send))
+        return [
+            send.message for send in sends if isinstance(send.message, message_type)
+        ]
 
     def replies(self):
-        return [one for one in self.actions if isinstance(one, Reply)]
+        return [action for action in self.actions if isinstance(action, Reply)]
 
     def role(self):
         return self.replica.status().role
@@ -203,7 +205,9 @@
     voter.handle(Received(vote_request(sender=B)))
     voter.confirm_persists()
     saved_votes = [
-        one.vote for one in voter.actions if isinstance(one, Persist) and one.vote
+        action.vote
+        for action in voter.actions
+        if isinstance(action, Persist) and action.vote
     ]
     restarted_voter = ReplicaDriver(
         durable_state=make_durable_state()._replace(vote=saved_votes[-1])
@@ -383,8 +387,8 @@
     )
     driver.confirm_persists()
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
-    apply_actions = [one for one in driver.actions if isinstance(one, Apply)]
-    assert [one.data for one in apply_actions[-1].entries] == [b"won"]
+    apply_actions = [action for action in driver.actions if isinstance(action, Apply)]
+    assert [entry.data for entry in apply_actions[-1].entries] == [b"won"]
 
 
 @pytest.mark.parametrize(
@@ -513,7 +517,9 @@
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
         follower.handle(Received(chunk))
     follower.confirm_persists()
-    assert [one.received_bytes for one in follower.sent_messages(SnapshotReply)] == [
+    assert [
+        reply.received_bytes for reply in follower.sent_messages(SnapshotReply)
+    ] == [
         2,
         2,
         2,
@@ -581,7 +587,11 @@
         reply = SnapshotReply("lab", C, A, term, 5, received_bytes, round_number)
         driver.handle(Received(reply))
     chunks = driver.sent_messages(SnapshotChunk)
-    assert [(one.log_index, one.offset) for one in chunks] == [(5, 0), (5, 2), (5, 4)]
+    assert [(chunk.log_index, chunk.offset) for chunk in chunks] == [
+        (5, 0),
+        (5, 2),
+        (5, 4),
+    ]
     driver.actions.clear()
     driver.receive_append_reply(C, log_index=5)
     assert driver.sent_messages(AppendRequest)[0].entries[0].log_index == 6
@@ -595,7 +605,7 @@
         driver.receive_append_reply(C)
     requests = driver.sent_messages(AppendRequest)
     assert len(requests) <= 2 * 2 * 10 + 2
-    assert max(len(MESSAGES.encode(one)) for one in requests) < 100
+    assert max(len(MESSAGES.encode(request)) for request in requests) < 100
 
 
 def test_stopping_leader_transfers_leadership_to_a_voter_with_its_log():
@@ -619,8 +629,11 @@
     driver.handle(Received(StandNow("lab", A, B, 2)))
     driver.confirm_persists()
     requests = driver.sent_messages(VoteRequest)
-    assert {one.term for one in requests} == {3}
-    assert all(one.is_leadership_transfer and not one.is_pre_vote for one in requests)
+    assert {request.term for request in requests} == {3}
+    assert all(
+        request.is_leadership_transfer and not request.is_pre_vote
+        for request in requests
+    )
 
 
 def test_stand_now_of_an_earlier_term_is_ignored():
