--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -25,7 +25,7 @@
     Send,
     TakeSnapshot,
 )
-from kumquatmux_agreement.leader_state import LeaderState
+from kumquatmux_agreement.leadership import LeaderState
 from kumquatmux_agreement.log import Log
 from kumquatmux_agreement.messages import Message
 from kumquatmux_agreement.settings import ReplicaSettings
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -5,7 +5,7 @@
 from kumquatmux_agreement.core import ReplicaCore
 from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, ReplicaId
 from kumquatmux_agreement.events import Outcome, Reply, Role
-from kumquatmux_agreement.leader_state import (
+from kumquatmux_agreement.leadership import (
     LeaderState,
     PendingRead,
     ReplicationProgress,
--- a/libs/agreement/src/kumquatmux_agreement/replication.py
+++ b/libs/agreement/src/kumquatmux_agreement/replication.py
@@ -4,7 +4,7 @@
 
 from kumquatmux_agreement.core import ReplicaCore
 from kumquatmux_agreement.entries import ReplicaId
-from kumquatmux_agreement.leader_state import LeaderState, ReplicationProgress
+from kumquatmux_agreement.leadership import LeaderState, ReplicationProgress
 from kumquatmux_agreement.messages import AppendRequest, SnapshotChunk
 
 
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -6,7 +6,7 @@
 from kumquatmux_agreement.election import Election
 from kumquatmux_agreement.entries import VoteRecord
 from kumquatmux_agreement.events import Role, Send
-from kumquatmux_agreement.leader_state import LeaderState
+from kumquatmux_agreement.leadership import LeaderState
 from kumquatmux_agreement.leading import become_leader
 from kumquatmux_agreement.messages import StandNow, VoteReply, VoteRequest
 from kumquatmux_core.decisions import log as log_decision
