Reword rounds, join requests and test cases of the agreement library

Cause: some doc comments were short of the sense, and names of test cases figurative. Change: a round, a join request and the limits say what the code does; cases of the tests have names in the terms of the field, their data is unchanged.

--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -73,7 +73,7 @@
         random: Random source of election timeouts.
         vote_record: Current term and vote.
         log: Log in memory.
-        synced_index: Last entry known to be durable on this replica's disk.
+        persisted_index: Last entry known to be durable on this replica's disk.
         commit: Last entry known to be committed.
         role: Current role.
         leader: Leader that the replica follows, or None if unknown.
@@ -166,7 +166,7 @@
         )
 
     def random_election_deadline(self) -> float:
-        """Return a random time for the next pre-vote."""
+        """Return a random deadline between one and two election timeouts from now."""
         election_timeout_s = self.settings.election_timeout_s
         return self.clock + election_timeout_s * (1 + self.random.random())
 
@@ -174,7 +174,8 @@
         """Draw random times for the next pre-vote and for a retry after an election.
 
         A pre-vote does not bind voters and may be repeated soon. An election uses up
-        the votes of its term, so that its candidates must wait for different times.
+        the votes of its term, so candidates that split them must retry at different
+        times.
         """
         timeout_factor = 1 + self.random.random()
         self.election_deadline = (
@@ -185,7 +186,7 @@
         )
 
     def advance_clock(self, now: float) -> None:
-        """Advance both clocks, and discard round send times after a clock jump.
+        """Advance both clocks, and discard round start times after a clock jump.
 
         Args:
             now: Time on the caller's clock, in seconds.
@@ -226,7 +227,7 @@
         self.actions.append(Send(to, message))
 
     def send_after_persist(self, message: Message, to: VmId) -> None:
-        """Request that a message be sent after all pending persists."""
+        """Request that a message be sent once all pending persists are confirmed."""
         if self.pending_persists:
             last_persist = next(reversed(self.pending_persists.values()))
             last_persist.deferred_actions.append(Send(to, message))
@@ -344,7 +345,7 @@
                 self.actions.append(reply)
 
     def fail(self, problem: Problem) -> None:
-        """Stop participating, as the state on the disk is unknown after a failure."""
+        """Stop participating after a failed write, as the disk state is unknown."""
         self.failure = problem
         self.pending_persists.clear()
         self.step_down(str(problem))
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -85,7 +85,7 @@
 
 
 def _accept_leader(core: ReplicaCore, message: AppendRequest | SnapshotChunk) -> bool:
-    """Follow the sender as leader unless its term is over; return whether it is."""
+    """Follow the sender as leader, or return False if its term is over."""
     if message.term < core.term:
         return False
     if message.term > core.term:
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -10,7 +10,7 @@
 from kumquatmux_agreement.settings import ReplicaSettings
 
 MAX_TRACKED_ROUNDS = 64
-"""Number of latest rounds whose send times are kept."""
+"""Number of latest rounds whose start times are kept."""
 
 
 class ReplicationProgress:
@@ -20,10 +20,10 @@
         match_index: Last entry that is known to be persisted by the member and equal
             to the leader's.
         next_index: Next entry to send.
-        acknowledged_round: Latest round that the member has answered.
-        acknowledged_sent_at: Send time of the latest answered round on the
-            caller's clock, in seconds, or -inf if it was discarded.
-        last_contact_at: Time of the member's last answer on the leader's steady clock,
+        acknowledged_round: Latest round that the member has replied to.
+        acknowledged_sent_at: Start of the latest round that the member has replied to,
+            on the caller's clock in seconds; -inf if unknown.
+        last_contact_at: Time of the member's last reply on the leader's steady clock,
             in seconds.
         snapshot: Snapshot that is being sent to the member, or None.
         received_bytes: Number of bytes of that snapshot that the member has received.
@@ -42,11 +42,11 @@
 
 
 class PendingRead(NamedTuple):
-    """Read request that waits until a quorum has answered a round.
+    """Read request that waits until a quorum has replied to a round.
 
     Attributes:
         token: Token of the request, repeated in the reply.
-        round: Round that a quorum has to answer first.
+        round: Round that a quorum has to reply to.
     """
 
     token: str
@@ -54,20 +54,20 @@
 
 
 class LeaderState:
-    """A leader's view of the other members and its unanswered requests.
+    """Leader's state of the other members and of unanswered requests.
 
-    A round is one broadcast to all members. Its number is repeated in their answers,
-    so that the leader knows when an answered message was sent.
+    A round starts with a broadcast to all members. Messages carry the number of their
+    round and replies repeat it, so that the leader knows how recent a reply is.
 
     Attributes:
         settings: Settings of the replica.
         progress: Replication progress by member, without the leader itself.
         pending_proposals: Request token by the index of the uncommitted entry.
         pending_reads: Read requests that wait for a quorum.
-        join_requests: Time of the last join request of each replica that sent one, on
-            the steady clock in seconds.
+        join_requests: Time of the latest join request by replica, on the steady clock
+            in seconds.
         round: Number of the latest round.
-        round_sent_at: Send time by round on the caller's clock, in seconds.
+        round_sent_at: Start of the latest rounds on the caller's clock, in seconds.
         next_heartbeat_at: Time of the next heartbeat on the steady clock, in seconds.
         leading_since: Time at which leadership began on the steady clock, in seconds.
         first_index: First entry of the leader's own term. Until it is committed, the
@@ -114,13 +114,13 @@
         }
 
     def begin_round(self, now: float) -> None:
-        """Start the next round and record its send time."""
+        """Start the next round and record its start time."""
         self.round += 1
         self.round_sent_at[self.round] = now
         self.round_sent_at.pop(self.round - MAX_TRACKED_ROUNDS, None)
 
     def discard_send_times(self) -> None:
-        """Discard the send times of all rounds, because the clock has jumped."""
+        """Discard the start times of all rounds after a clock jump."""
         self.round_sent_at.clear()
         for progress in self.progress.values():
             progress.acknowledged_sent_at = -math.inf
@@ -132,7 +132,7 @@
 
         Args:
             sender: Replica that replied.
-            round_number: Round of the message that it replied to.
+            round_number: Round that the reply repeats.
             steady_now: Current time on the steady clock, in seconds.
 
         Returns:
@@ -148,7 +148,10 @@
         return progress
 
     def lease_expires_at(self, configuration: Configuration, now: float) -> float:
-        """Return the time until which no other replica can lead, in caller's time."""
+        """Return when the read lease expires, on the caller's clock in seconds.
+
+        No other replica can become leader before that time.
+        """
         own_id = self.settings.replica
         acknowledged_times = [
             now if voter == own_id else self.progress[voter].acknowledged_sent_at
@@ -158,7 +161,7 @@
         return _quorum_value(acknowledged_times, configuration.quorum) + lease_duration
 
     def quorum_round(self, configuration: Configuration) -> int:
-        """Return the latest round that a quorum has answered."""
+        """Return the latest round that a quorum has replied to."""
         own_id = self.settings.replica
         rounds = [
             self.round if voter == own_id else self.progress[voter].acknowledged_round
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -62,7 +62,7 @@
 
 
 def answer_read(core: ReplicaCore, leader_state: LeaderState, token: str) -> None:
-    """Answer a read request at once under the lease, else after a round."""
+    """Answer a read at once under the lease, else after a quorum has replied."""
     if core.commit < leader_state.first_index:
         problem = Problem(
             "not-ready", "the leader has not committed an entry of its term yet"
@@ -220,7 +220,7 @@
 
 
 def answer_confirmed_reads(core: ReplicaCore, leader_state: LeaderState) -> None:
-    """Answer the reads whose round a quorum has answered."""
+    """Answer the pending reads whose round a quorum has replied to."""
     if not leader_state.pending_reads:
         return
     quorum_round = leader_state.quorum_round(core.log.configuration)
--- a/libs/agreement/src/kumquatmux_agreement/log.py
+++ b/libs/agreement/src/kumquatmux_agreement/log.py
@@ -73,12 +73,12 @@
         return tuple(self.entries[start : last - self.base_index])
 
     def batch(self, first: int, last: int, max_bytes: int) -> tuple[Entry, ...]:
-        """Return at least one entry from ``first`` on, limited by data size.
+        """Return entries from ``first`` on, up to a data size but at least one.
 
         Args:
             first: Index of the first entry.
             last: Index of the last entry that may be included.
-            max_bytes: Maximum data of all entries in bytes, if there is more than one.
+            max_bytes: Maximum data size of two or more entries together, in bytes.
         """
         batch: list[Entry] = []
         batch_bytes = 0
@@ -113,11 +113,11 @@
                 self.configurations.append((entry.log_index, entry.configuration))
 
     def compact(self, snapshot: Snapshot, keep_entries: int) -> None:
-        """Install a newer snapshot and drop entries that precede it.
+        """Install a newer snapshot and drop older entries.
 
         Args:
             snapshot: New snapshot.
-            keep_entries: Number of entries up to the snapshot's index to retain.
+            keep_entries: Number of entries to retain up to the snapshot's index.
         """
         self.snapshot = snapshot
         base_index = max(self.base_index, snapshot.log_index - keep_entries)
--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -154,7 +154,7 @@
 
 
 class JoinRequest(NamedTuple):
-    """Request of a replica outside the configuration to join the cluster.
+    """Request by a replica outside the configuration to join the cluster.
 
     Attributes:
         cluster: Name of the cluster, without the origin if the sender does not know it.
@@ -166,7 +166,7 @@
 
 
 class StandNow(NamedTuple):
-    """Request of a stopping leader that a voter start an election at once.
+    """Request by a stopping leader for a voter to start an election at once.
 
     Attributes:
         cluster: Name of the cluster.
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -44,7 +44,7 @@
 from kumquatmux_core.problems import Problem
 
 MAX_RETAINED_COMPACTIONS = 16
-"""Compactions for which entries are retained while a snapshot is being sent."""
+"""Limit on entries retained during a snapshot transfer, in compaction intervals."""
 
 
 class Replica:
@@ -269,7 +269,7 @@
         """Return how many entries up to a new snapshot's index to keep.
 
         Entries that a live member needs after the snapshot that is being sent to it are
-        kept, up to a limit.
+        kept, up to ``MAX_RETAINED_COMPACTIONS`` compaction intervals.
         """
         settings = self.core.settings
         leader_state = self.core.leadership
@@ -287,9 +287,10 @@
         return max(settings.keep_entries, needed_entries)
 
     def _should_request_join(self) -> bool:
-        """Return whether the current leader may not know this replica.
+        """Return whether the replica is an outsider or hears from no leader.
 
-        The replica's log may name it as a member in an entry that was never committed.
+        A replica that hears from no leader may not be a member: the entry that made it
+        a member may never have been committed.
         """
         core = self.core
         since_contact_s = core.clock - core.heard_at
--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -1,4 +1,4 @@
-"""Selection of the control VMs that vote, without action by an operator."""
+"""Automatic selection of the control VMs that vote."""
 
 from __future__ import annotations
 
--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -1,4 +1,4 @@
-"""Elections after a start of all, played with the delays of three zones."""
+"""Simulated elections after a simultaneous start of replicas in three zones."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 TICK_INTERVAL_S = 0.05
 MESSAGE_DELAY_S = 0.005
 START_WINDOW_S = 0.1
-"""Time within which all processes start."""
+"""Time within which all replicas start."""
 
 
 def new_replica(replica_number, random, last_term=4):
@@ -50,7 +50,10 @@
 
 
 class ClusterSimulation:
-    """Replicas that start at about the same time; their disks sync at once."""
+    """Simulation of replicas that start at about the same time.
+
+    Messages are delayed; persists are confirmed at once.
+    """
 
     def __init__(self, started, seed):
         self.random = Random(seed)
@@ -66,7 +69,7 @@
         heapq.heappush(self.events, (due_at, next(self.event_numbers), vm, event))
 
     def run_until_commit(self):
-        """Return when the first replica applies what was in the log."""
+        """Run until a replica applies the initial log entry and return the time."""
         while True:
             now, _, vm, event = heapq.heappop(self.events)
             if isinstance(event, Tick):
--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -17,82 +17,82 @@
 
 
 MEMBERSHIP_STEPS = {
-    "nothing to do": (
+    "no change needed": (
         Configuration(VMS_ABC, (A, B, C)),
         membership_view({A, B, C}),
         None,
     ),
-    "a newcomer learns first": (
+    "joining replica becomes a learner": (
         Configuration(VMS_ABC, (A,)),
         membership_view({A}, join_requests=(B,)),
         Configuration(VMS_ABC, (A,), (B,)),
     ),
-    "a stranger is not let in": (
+    "replica on an unwanted VM is not added": (
         Configuration(VMS_ABC, (A, B, C)),
         membership_view({A, B, C}, join_requests=(D,)),
         None,
     ),
-    "a learner that is behind waits": (
+    "lagging learner is not promoted": (
         Configuration(VMS_ABC, (A,), (B,)),
         membership_view({A, B}),
         None,
     ),
-    "a learner that has caught up votes": (
+    "caught-up learner is promoted": (
         Configuration(VMS_ABC, (A,), (B,)),
         membership_view({A, B}, caught_up_learners={B}),
         Configuration(VMS_ABC, (A, B)),
     ),
-    "a lost folder stays until its successor is ready": (
+    "unresponsive voter stays until its replacement has caught up": (
         Configuration(VMS_ABC, (A, B, C), (C_REPLACEMENT,)),
         membership_view({A, B, C_REPLACEMENT}),
         None,
     ),
-    "a lost folder goes first": (
+    "unresponsive voter is removed before its replacement votes": (
         Configuration(VMS_ABC, (A, B, C), (C_REPLACEMENT,)),
         membership_view({A, B, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
         Configuration(VMS_ABC, (A, B), (C_REPLACEMENT,)),
     ),
-    "then its successor votes": (
+    "replacement is promoted after the removal": (
         Configuration(VMS_ABC, (A, B), (C_REPLACEMENT,)),
         membership_view({A, B, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
         Configuration(VMS_ABC, (A, B, C_REPLACEMENT)),
     ),
-    "no voter goes when the rest has no majority that answers": (
+    "no voter is removed without a live quorum of the rest": (
         Configuration(VMS_ABC, (A, B, C), (C_REPLACEMENT,)),
         membership_view({A, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
         None,
     ),
-    "an old request to join does not push out a live voter": (
+    "late join request does not replace a live voter": (
         Configuration(VMS_ABC, (A, B, C_REPLACEMENT)),
         membership_view({A, B, C_REPLACEMENT}, join_requests=(C,)),
         None,
     ),
-    "a learner of a lost folder is dropped": (
+    "unresponsive learner with a replacement is removed": (
         Configuration(VMS_ABC, (A, B), (C,)),
         membership_view({A, B}, join_requests=(C_REPLACEMENT,)),
         Configuration(VMS_ABC, (A, B)),
     ),
-    "a live VM to be replaced goes last": (
+    "unwanted live voter stays until its replacement votes": (
         Configuration(("a", "b", "d"), (A, B, C), (D,)),
         membership_view({A, B, C, D}, caught_up_learners={D}),
         Configuration(("a", "b", "d"), (A, B, C, D)),
     ),
-    "when its successor votes it goes": (
+    "unwanted live voter is removed once its replacement votes": (
         Configuration(("a", "b", "d"), (A, B, C, D)),
         membership_view({A, B, C, D}),
         Configuration(("a", "b", "d"), (A, B, D)),
     ),
-    "a silent VM to be replaced stays until its successor votes": (
+    "unwanted unresponsive voter stays until its replacement votes": (
         Configuration(("a", "b", "d"), (A, B, C), (D,)),
         membership_view({A, B, D}, caught_up_learners={D}),
         Configuration(("a", "b", "d"), (A, B, C, D)),
     ),
-    "then the silent VM goes": (
+    "unwanted unresponsive voter is removed next": (
         Configuration(("a", "b", "d"), (A, B, C, D)),
         membership_view({A, B, D}),
         Configuration(("a", "b", "d"), (A, B, D)),
     ),
-    "a leader that is not wanted goes last of all": (
+    "unwanted leader is removed last": (
         Configuration(("b",), (A, B, C)),
         membership_view({A, B, C}),
         Configuration(("b",), (A, B)),
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -64,7 +64,7 @@
 
 
 class ReplicaDriver:
-    """One replica whose disk syncs when told to."""
+    """One replica whose persists are confirmed on demand."""
 
     def __init__(self, replica_id=A, durable_state=None, **settings):
         replica_settings = ReplicaSettings("lab", replica_id, VMS, **settings)
@@ -221,8 +221,8 @@
 @pytest.mark.parametrize(
     ("name", "durable_state", "wait_s", "message", "is_granted"),
     [
-        ("free", make_durable_state(), 2.5, vote_request(), True),
-        ("trial", make_durable_state(), 2.5, vote_request(is_pre_vote=True), True),
+        ("no vote yet", make_durable_state(), 2.5, vote_request(), True),
+        ("pre-vote", make_durable_state(), 2.5, vote_request(is_pre_vote=True), True),
         ("just started", make_durable_state(), 0.5, vote_request(), False),
         ("old term", make_durable_state(term=5), 2.5, vote_request(term=4), False),
         (
@@ -394,10 +394,10 @@
 @pytest.mark.parametrize(
     ("name", "since_reply_s", "jump_s", "outcomes"),
     [
-        ("under the lease", 0.5, 0.0, [Outcome.CURRENT]),
-        ("lease over", 1.5, 0.0, []),
-        ("clock went back", 0.1, -5.0, []),
-        ("clock went forward", 0.1, 5.0, []),
+        ("lease valid", 0.5, 0.0, [Outcome.CURRENT]),
+        ("lease expired", 1.5, 0.0, []),
+        ("clock jumped back", 0.1, -5.0, []),
+        ("clock jumped forward", 0.1, 5.0, []),
     ],
 )
 def test_read_needs_a_lease_or_an_answered_round(name, since_reply_s, jump_s, outcomes):
