--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -48,14 +48,16 @@
     A VM is replaced only if it is unreachable and a reachable VM can take its place,
     so that a short outage changes nothing while no replacement is available.
     """
-    spare_vms = [
+    spare_candidates = [
         candidate for candidate in view.reachable if candidate.vm not in view.voter_vms
     ]
     if len(view.voter_vms) < view.voter_count:
-        return _add_voter_vms(view, spare_vms)
+        return _add_voter_vms(view, spare_candidates)
     for vm in view.voter_vms:
-        if vm in view.unreachable and spare_vms:
-            selected_vm = _select_spare_vm(view, spare_vms, set(view.voter_vms) - {vm})
+        if vm in view.unreachable and spare_candidates:
+            selected_vm = _select_spare_vm(
+                view, spare_candidates, set(view.voter_vms) - {vm}
+            )
             return tuple(sorted({*view.voter_vms, selected_vm} - {vm}))
     return None
 
