--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -63,17 +63,17 @@
 
 
 def _add_voter_vms(
-    view: SeatsView, spare_vms: list[Candidate]
+    view: SeatsView, spare_candidates: list[Candidate]
 ) -> tuple[VmId, ...] | None:
     missing_count = view.voter_count - len(view.voter_vms)
-    if len(spare_vms) < missing_count:
+    if len(spare_candidates) < missing_count:
         return None
     voter_vms = set(view.voter_vms)
     for _ in range(missing_count):
-        selected_vm = _select_spare_vm(view, spare_vms, voter_vms)
+        selected_vm = _select_spare_vm(view, spare_candidates, voter_vms)
         voter_vms.add(selected_vm)
-        spare_vms = [
-            candidate for candidate in spare_vms if candidate.vm != selected_vm
+        spare_candidates = [
+            candidate for candidate in spare_candidates if candidate.vm != selected_vm
         ]
     return tuple(sorted(voter_vms))
 
