Rename spare_vms to spare_candidates

The parameter holds candidates.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py spare_vms spare_candidates

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -79,13 +79,13 @@
 
 
 def _select_spare_vm(
-    view: SeatsView, spare_vms: list[Candidate], voter_vms: set[VmId]
+    view: SeatsView, spare_candidates: list[Candidate], voter_vms: set[VmId]
 ) -> VmId:
     """Return the spare VM whose zone has the fewest selected VMs."""
     zones = {candidate.vm: candidate.zone for candidate in view.reachable}
     occupied_zones = [zones.get(vm) for vm in voter_vms]
     selected = min(
-        spare_vms,
+        spare_candidates,
         key=lambda candidate: (occupied_zones.count(candidate.zone), candidate.vm),
     )
     return selected.vm
