Rename _select_spare_vm to _select_candidate_vm

The function selects the VM of a candidate.

Rename: libs/agreement/src/kumquatmux_agreement/seats.py _select_spare_vm _select_candidate_vm

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -55,7 +55,7 @@
         return _add_voter_vms(view, spare_candidates)
     for vm in view.voter_vms:
         if vm in view.unreachable and spare_candidates:
-            selected_vm = _select_spare_vm(
+            selected_vm = _select_candidate_vm(
                 view, spare_candidates, set(view.voter_vms) - {vm}
             )
             return tuple(sorted({*view.voter_vms, selected_vm} - {vm}))
@@ -70,7 +70,7 @@
         return None
     voter_vms = set(view.voter_vms)
     for _ in range(missing_count):
-        selected_vm = _select_spare_vm(view, spare_candidates, voter_vms)
+        selected_vm = _select_candidate_vm(view, spare_candidates, voter_vms)
         voter_vms.add(selected_vm)
         spare_candidates = [
             candidate for candidate in spare_candidates if candidate.vm != selected_vm
@@ -78,7 +78,7 @@
     return tuple(sorted(voter_vms))
 
 
-def _select_spare_vm(
+def _select_candidate_vm(
     view: SeatsView, spare_candidates: list[Candidate], voter_vms: set[VmId]
 ) -> VmId:
     """Return the spare VM whose zone has the fewest selected VMs."""
