--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -263,14 +263,16 @@
 
 def _advance_membership(core: ReplicaCore, leader_state: LeaderState) -> None:
     configuration = core.log.configuration
-    caught_up = frozenset(
+    caught_up_learners = frozenset(
         learner
         for learner in configuration.learners
         if leader_state.progress[learner].match_index >= core.commit
     )
     live_members = leader_state.live_members(core.clock)
     join_requests = leader_state.recent_join_requests(core.clock)
-    view = MembershipView(core.replica_id, join_requests, live_members, caught_up)
+    view = MembershipView(
+        core.replica_id, join_requests, live_members, caught_up_learners
+    )
     next_step = next_configuration(configuration, view)
     if next_step is not None:
         append_entry(core, EntryKind.CONFIGURATION, configuration=next_step)
