Describe the choice of a voter VM by its candidate

Cause: the doc comment spoke of a spare VM, the function takes candidates. Change: the words only. Result: no behaviour changed; the tests of libs/agreement pass.

--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -81,7 +81,7 @@
 def _select_candidate_vm(
     view: SeatsView, spare_candidates: list[Candidate], voter_vms: set[VmId]
 ) -> VmId:
-    """Return the spare VM whose zone has the fewest selected VMs."""
+    """Return the VM of the candidate whose zone has the fewest selected VMs."""
     zones = {candidate.vm: candidate.zone for candidate in view.reachable}
     occupied_zones = [zones.get(vm) for vm in voter_vms]
     selected = min(
