--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -113,7 +113,7 @@
         log_term: Term of that entry.
         configuration: Configuration as of that entry.
         offset: Position of the chunk in the snapshot, in bytes.
-        total_bytes: Size of the whole snapshot.
+        total_bytes: Size of the complete snapshot in bytes.
         data: Content of the chunk.
         round: Number of the leader's current round, repeated in the reply.
     """
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -30,11 +30,11 @@
         join_period_s: Interval between join requests, in seconds.
         snapshot_entries: Number of committed entries between two log compactions.
         keep_entries: Number of entries retained before a snapshot for slow followers.
-        batch_bytes: Approximate maximum size of the entries in one message.
+        batch_bytes: Approximate maximum size of one message's entries, in bytes.
         window_entries: Maximum number of entries sent ahead of a member's
             acknowledgement.
-        chunk_bytes: Maximum size of the snapshot data in one message.
-        max_entry_bytes: Maximum size of an entry's data.
+        chunk_bytes: Maximum size of one message's snapshot data, in bytes.
+        max_entry_bytes: Maximum size of an entry's data, in bytes.
         max_pending_entries: Maximum number of uncommitted proposals of a leader.
     """
 
