--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -1,4 +1,4 @@
-"""One replica of the log: an event and the time in, actions out."""
+"""Replica of the log as a state machine: an event and a time in, actions out."""
 
 from __future__ import annotations
 
@@ -43,62 +43,71 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.problems import Problem
 
-KEPT_SNAPSHOTS = 16
-"""Compactions that entries outlast for a member that receives a snapshot."""
+MAX_RETAINED_COMPACTIONS = 16
+"""Limit on entries retained during a snapshot transfer, in compaction intervals."""
 
 
 class Replica:
-    """One replica of the log.
+    """Replica of the log.
 
-    The caller carries out the actions in order and reports each ``Persist``. Events
-    are to arrive at least every ``clock_gap_s`` seconds, ``Tick`` when nothing else.
+    The caller performs the actions in order and reports the result of each
+    ``Persist``. Events must arrive at least every ``clock_gap_s`` seconds, ``Tick`` if
+    there is no other.
     """
 
     def __init__(
-        self, settings: ReplicaSettings, restored: DurableState, random: Random
+        self, settings: ReplicaSettings, durable_state: DurableState, random: Random
     ) -> None:
-        """Start from what the disk holds.
+        """Start from the persisted state.
 
         Args:
-            settings: Who the replica is and how it keeps time.
-            restored: What it has made durable, ``founding_state`` or
-                ``joining_state`` at first.
-            random: Source of election timeouts.
+            settings: Identity, timing and limits of the replica.
+            durable_state: Persisted state; for a new replica from ``founding_state`` or
+                ``joining_state``.
+            random: Random source of election timeouts.
         """
-        self.core = ReplicaCore(settings, restored, random)
+        self.core = ReplicaCore(settings, durable_state, random)
 
     def handle(self, event: Event, now: float) -> list[Action]:
-        """Return the actions that follow an event.
+        """Handle an event and return the actions that it requires.
 
         Args:
-            event: What happened.
+            event: Event to handle.
             now: Monotonic time in seconds.
         """
         self.core.advance_clock(now)
         if self.core.role == Role.FAILED:
             self._refuse(event, "replica-failed", str(self.core.failure))
         else:
-            self._on(event)
-        actions = self.core.out
-        self.core.out = []
+            self._handle_event(event)
+        actions = self.core.actions
+        self.core.actions = []
         return actions
 
     def status(self) -> ReplicaStatus:
-        """Return what operators see."""
+        """Return the replica's status for operators."""
         core = self.core
         configuration = core.log.configuration
-        leadership = core.leadership
+        leader_state = core.leadership
         voting_vms = sorted(voter.vm for voter in configuration.voters)
-        is_agreed = core.commit >= core.log.configuration_index
-        is_whole = is_agreed and voting_vms == sorted(configuration.vms)
-        live: tuple[ReplicaId, ...] = ()
+        is_configuration_committed = core.commit >= core.log.configuration_index
+        is_whole = is_configuration_committed and voting_vms == sorted(
+            configuration.vms
+        )
+        live_members: tuple[ReplicaId, ...] = ()
         has_lease = False
-        if leadership is not None:
-            live = tuple(sorted(leadership.live(core.clock)))
-            has_lease = leadership.lease_until(configuration, core.now) > core.now
-            others = leadership.progress.values()
-            behind = [one for one in others if one.match < core.commit]
-            is_whole = is_whole and not behind
+        if leader_state is not None:
+            live_members = tuple(sorted(leader_state.live_members(core.clock)))
+            has_lease = (
+                leader_state.lease_expires_at(configuration, core.now) > core.now
+            )
+            member_progress = leader_state.progress.values()
+            lagging_members = [
+                progress
+                for progress in member_progress
+                if progress.match_index < core.commit
+            ]
+            is_whole = is_whole and not lagging_members
         return ReplicaStatus(
             core.role,
             core.term,
@@ -107,178 +116,196 @@
             core.log.last_index,
             core.log.snapshot.log_index,
             configuration,
-            live,
+            live_members,
             has_lease,
             is_whole,
         )
 
     @singledispatchmethod
-    def _on(self, event: Event) -> None:
+    def _handle_event(self, event: Event) -> None:
         raise TypeError(f"unknown event {type(event).__name__}")
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: Tick) -> None:
         core = self.core
         if core.leadership is not None:
             leading.tick(core, core.leadership)
             return
         configuration = core.log.configuration
-        is_due = core.clock >= core.election_at
-        is_alone = configuration.voters == (core.me,) and core.election is None
-        if core.may_stand and (is_due or is_alone):
-            voting.stand(core)
-        if self._is_forgotten() and core.clock >= core.join_at:
-            self._ask_to_join()
-
-    @_on.register
+        is_election_due = core.clock >= core.election_deadline
+        is_sole_voter = (
+            configuration.voters == (core.replica_id,) and core.election is None
+        )
+        if core.can_start_election and (is_election_due or is_sole_voter):
+            voting.start_pre_vote(core)
+        if self._should_request_join() and core.clock >= core.next_join_request_at:
+            self._send_join_requests()
+
+    @_handle_event.register
     def _(self, event: Propose) -> None:
         if self.core.leadership is None:
-            self._refuse(event, "not-leader", "this replica does not lead")
+            self._refuse(event, "not-leader", "this replica is not the leader")
             return
         leading.propose(self.core, self.core.leadership, event.data, event.token)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: Read) -> None:
         if self.core.leadership is None:
-            self._refuse(event, "not-leader", "this replica does not lead")
+            self._refuse(event, "not-leader", "this replica is not the leader")
             return
-        leading.read(self.core, self.core.leadership, event.token)
+        leading.answer_read(self.core, self.core.leadership, event.token)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: ChangeMembership) -> None:
-        leadership = self.core.leadership
-        if leadership is None:
-            self._refuse(event, "not-leader", "this replica does not lead")
+        leader_state = self.core.leadership
+        if leader_state is None:
+            self._refuse(event, "not-leader", "this replica is not the leader")
             return
-        leading.change_membership(self.core, leadership, event.vms, event.token)
+        leading.change_membership(self.core, leader_state, event.vms, event.token)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: HandOver) -> None:
         if self.core.leadership is not None:
-            voting.hand_over(self.core, self.core.leadership)
+            voting.transfer_leadership(self.core, self.core.leadership)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: Persisted) -> None:
         core = self.core
-        pending = core.unsynced.pop(event.number)
-        core.synced = pending.last_index
-        core.out.extend(pending.then)
-        if not core.unsynced:
-            voting.own_vote_synced(core)
+        pending_persist = core.pending_persists.pop(event.number)
+        core.persisted_index = pending_persist.last_index
+        core.actions.extend(pending_persist.deferred_actions)
+        if not core.pending_persists:
+            voting.count_own_vote(core)
         leading.advance_commit(core)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: PersistFailed) -> None:
         self.core.fail(event.problem)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: SnapshotTaken) -> None:
         core = self.core
         if event.log_index <= core.log.snapshot.log_index:
             return
         term = core.log.term_at(event.log_index)
         if term is None or event.log_index > core.commit:
-            raise AssertionError(f"snapshot at {event.log_index} is not of this log")
+            raise AssertionError(
+                f"no committed entry at snapshot index {event.log_index}"
+            )
         configuration = core.log.configuration_at(event.log_index)
         snapshot = Snapshot(event.log_index, term, configuration, event.data)
         core.log.compact(snapshot, self._entries_to_keep(event.log_index))
         core.persist(snapshot=snapshot)
 
-    @_on.register
+    @_handle_event.register
     def _(self, event: Received) -> None:
         message = event.message
         if isinstance(message, JoinRequest):
-            self._receive(message)
-        elif message.to == self.core.me and self.core.is_of_cluster(message.cluster):
-            self._receive(message)
+            self._handle_message(message)
+        elif message.to == self.core.replica_id and self.core.accepts_cluster(
+            message.cluster
+        ):
+            self._handle_message(message)
 
     @singledispatchmethod
-    def _receive(self, message: object) -> None:
+    def _handle_message(self, message: object) -> None:
         raise TypeError(f"unknown message {type(message).__name__}")
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: VoteRequest) -> None:
-        voting.vote_asked(self.core, message)
+        voting.handle_vote_request(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: VoteReply) -> None:
-        voting.vote_answered(self.core, message)
+        voting.handle_vote_reply(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: AppendRequest) -> None:
-        following.append_asked(self.core, message)
+        following.handle_append_request(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: AppendReply) -> None:
-        if self._is_over(message):
+        if self._enter_later_term(message):
             return
-        leading.append_answered(self.core, message)
+        leading.handle_append_reply(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: SnapshotChunk) -> None:
-        following.chunk_asked(self.core, message)
+        following.handle_snapshot_chunk(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: SnapshotReply) -> None:
-        if self._is_over(message):
+        if self._enter_later_term(message):
             return
-        leading.snapshot_answered(self.core, message)
+        leading.handle_snapshot_reply(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: StandNow) -> None:
-        voting.stand_now(self.core, message)
+        voting.handle_stand_now(self.core, message)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: JoinRequest) -> None:
-        leadership = self.core.leadership
-        if leadership is None:
+        leader_state = self.core.leadership
+        if leader_state is None:
             return
         if message.cluster in (self.core.cluster, self.core.settings.cluster):
-            leadership.joining[message.sender] = self.core.clock
+            leader_state.join_requests[message.sender] = self.core.clock
         else:
             log_decision(
                 "agreement-other-cluster",
-                replica=self.core.me,
+                replica=self.core.replica_id,
                 cluster=self.core.cluster,
                 sender=message.sender,
                 other=message.cluster,
             )
 
-    def _is_over(self, message: AppendReply | SnapshotReply) -> bool:
+    def _enter_later_term(self, message: AppendReply | SnapshotReply) -> bool:
         if message.term <= self.core.term:
             return False
         self.core.enter_term(message.term, None)
         return True
 
-    def _entries_to_keep(self, compacted: int) -> int:
-        """Keep what a member needs next that is still receiving a snapshot."""
+    def _entries_to_keep(self, snapshot_index: int) -> int:
+        """Return how many entries up to a new snapshot's index to keep.
+
+        Entries that a live member needs after the snapshot that is being sent to it are
+        kept, up to ``MAX_RETAINED_COMPACTIONS`` compaction intervals.
+        """
         settings = self.core.settings
-        leadership = self.core.leadership
-        oldest = leadership.oldest_sent(self.core.clock) if leadership else None
-        if oldest is None:
+        leader_state = self.core.leadership
+        oldest_snapshot_index = (
+            leader_state.oldest_sent_snapshot_index(self.core.clock)
+            if leader_state
+            else None
+        )
+        if oldest_snapshot_index is None:
             return settings.keep_entries
-        needed = min(compacted - oldest, KEPT_SNAPSHOTS * settings.snapshot_entries)
-        return max(settings.keep_entries, needed)
+        needed_entries = min(
+            snapshot_index - oldest_snapshot_index,
+            MAX_RETAINED_COMPACTIONS * settings.snapshot_entries,
+        )
+        return max(settings.keep_entries, needed_entries)
 
-    def _is_forgotten(self) -> bool:
-        """Return whether no leader may know this replica.
+    def _should_request_join(self) -> bool:
+        """Return whether the replica is an outsider or hears from no leader.
 
-        Its own log may name it a member by an entry that was never committed.
+        A replica that hears from no leader may not be a member: the entry that made it
+        a member may never have been committed.
         """
         core = self.core
-        silence_s = core.clock - core.heard_at
-        is_silent = silence_s >= core.settings.election_timeout_s
-        return core.leadership is None and (is_silent or core.role == Role.OUTSIDER)
+        since_contact_s = core.clock - core.heard_at
+        has_no_leader = since_contact_s >= core.settings.election_timeout_s
+        return core.leadership is None and (has_no_leader or core.role == Role.OUTSIDER)
 
-    def _ask_to_join(self) -> None:
+    def _send_join_requests(self) -> None:
         core = self.core
-        core.join_at = core.clock + core.settings.join_period_s
+        core.next_join_request_at = core.clock + core.settings.join_period_s
         for vm in core.settings.peers:
-            core.send(JoinRequest(core.cluster, core.me), vm)
+            core.send(JoinRequest(core.cluster, core.replica_id), vm)
 
     def _refuse(self, event: Event, code: str, detail: str) -> None:
         if isinstance(event, Propose | Read | ChangeMembership):
             problem = Problem(code, detail)
             leader = self.core.leader
             reply = Reply(event.token, Outcome.REFUSED, 0, problem, leader)
-            self.core.out.append(reply)
+            self.core.actions.append(reply)
--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -1,4 +1,4 @@
-"""Which control VMs should vote, when VMs come and go without an operator."""
+"""Automatic selection of the control VMs that vote."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 
 
 class Candidate(NamedTuple):
-    """A control VM that may vote.
+    """Control VM that can become a voter.
 
     Attributes:
-        vm: Its name.
-        zone: Its availability zone.
+        vm: Name of the VM.
+        zone: Availability zone of the VM.
     """
 
     vm: VmId
@@ -20,59 +20,72 @@
 
 
 class SeatsView(NamedTuple):
-    """What a leader knows of control VMs.
+    """What the leader knows about the control VMs.
 
     Attributes:
-        leader: The leader's VM.
-        wanted: The VMs that are wanted as voters now.
-        present: Control VMs that were heard lately, the leader's included.
-        gone: Wanted VMs that have not been heard for long.
-        size: How many voters there should be.
+        leader: VM of the leader.
+        voter_vms: VMs currently selected as voters.
+        reachable: Control VMs heard from recently, including the leader's.
+        unreachable: Selected VMs that have not been heard from for a long time.
+        voter_count: Number of VMs that should be selected.
     """
 
     leader: VmId
-    wanted: tuple[VmId, ...]
-    present: tuple[Candidate, ...]
-    gone: frozenset[VmId]
-    size: int
+    voter_vms: tuple[VmId, ...]
+    reachable: tuple[Candidate, ...]
+    unreachable: frozenset[VmId]
+    voter_count: int
 
 
-def voters_for(losses: int) -> int:
-    """Return how many voters outlive the loss of some of them."""
-    return 2 * losses + 1
+def voters_for(tolerated_losses: int) -> int:
+    """Return the number of voters needed to survive a number of lost voters."""
+    return 2 * tolerated_losses + 1
 
 
 def next_wanted(view: SeatsView) -> tuple[VmId, ...] | None:
-    """Return the VMs that should be wanted next, None to keep them.
+    """Return the VMs to select as voters next, or None to keep the selection.
 
-    A seat moves only from a VM that is gone to one that is present, so that a
-    short silence moves nothing while nobody waits for the seat.
+    A VM is replaced only if it is unreachable and a reachable VM can take its place,
+    so that a short outage changes nothing while no replacement is available.
     """
-    spare = [one for one in view.present if one.vm not in view.wanted]
-    if len(view.wanted) < view.size:
-        return _grown(view, spare)
-    for vm in view.wanted:
-        if vm in view.gone and spare:
-            chosen = _best(view, spare, set(view.wanted) - {vm})
-            return tuple(sorted({*view.wanted, chosen} - {vm}))
+    spare_candidates = [
+        candidate for candidate in view.reachable if candidate.vm not in view.voter_vms
+    ]
+    if len(view.voter_vms) < view.voter_count:
+        return _add_voter_vms(view, spare_candidates)
+    for vm in view.voter_vms:
+        if vm in view.unreachable and spare_candidates:
+            selected_vm = _select_candidate_vm(
+                view, spare_candidates, set(view.voter_vms) - {vm}
+            )
+            return tuple(sorted({*view.voter_vms, selected_vm} - {vm}))
     return None
 
 
-def _grown(view: SeatsView, spare: list[Candidate]) -> tuple[VmId, ...] | None:
-    missing = view.size - len(view.wanted)
-    if len(spare) < missing:
+def _add_voter_vms(
+    view: SeatsView, spare_candidates: list[Candidate]
+) -> tuple[VmId, ...] | None:
+    missing_count = view.voter_count - len(view.voter_vms)
+    if len(spare_candidates) < missing_count:
         return None
-    wanted = set(view.wanted)
-    for _ in range(missing):
-        chosen = _best(view, spare, wanted)
-        wanted.add(chosen)
-        spare = [one for one in spare if one.vm != chosen]
-    return tuple(sorted(wanted))
-
-
-def _best(view: SeatsView, spare: list[Candidate], seated: set[VmId]) -> VmId:
-    """Return the spare VM whose zone holds the fewest seats."""
-    zones = {one.vm: one.zone for one in view.present}
-    taken = [zones.get(vm) for vm in seated]
-    chosen = min(spare, key=lambda one: (taken.count(one.zone), one.vm))
-    return chosen.vm
+    voter_vms = set(view.voter_vms)
+    for _ in range(missing_count):
+        selected_vm = _select_candidate_vm(view, spare_candidates, voter_vms)
+        voter_vms.add(selected_vm)
+        spare_candidates = [
+            candidate for candidate in spare_candidates if candidate.vm != selected_vm
+        ]
+    return tuple(sorted(voter_vms))
+
+
+def _select_candidate_vm(
+    view: SeatsView, spare_candidates: list[Candidate], voter_vms: set[VmId]
+) -> VmId:
+    """Return the VM of the candidate whose zone has the fewest selected VMs."""
+    zones = {candidate.vm: candidate.zone for candidate in view.reachable}
+    occupied_zones = [zones.get(vm) for vm in voter_vms]
+    selected = min(
+        spare_candidates,
+        key=lambda candidate: (occupied_zones.count(candidate.zone), candidate.vm),
+    )
+    return selected.vm
--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -5,38 +5,55 @@
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
 
-def view(wanted, present, gone=(), size=3):
-    there = tuple(Candidate(vm, ZONES[vm]) for vm in present)
-    return SeatsView("a1", tuple(wanted), there, frozenset(gone), size)
+def selection_view(voter_vms, reachable, unreachable=(), voter_count=3):
+    candidates = tuple(Candidate(vm, ZONES[vm]) for vm in reachable)
+    return SeatsView(
+        "a1", tuple(voter_vms), candidates, frozenset(unreachable), voter_count
+    )
 
 
-def test_as_many_voters_as_outlive_the_losses():
-    assert [voters_for(losses) for losses in (0, 1, 2)] == [1, 3, 5]
+def test_voter_count_survives_the_tolerated_losses():
+    assert [voters_for(tolerated_losses) for tolerated_losses in (0, 1, 2)] == [1, 3, 5]
 
 
-def test_nothing_moves_while_all_are_there():
-    assert next_wanted(view(["a1", "b1", "c1"], ["a1", "b1", "c1", "c2"])) is None
+def test_selection_is_kept_while_all_voter_vms_are_reachable():
+    assert (
+        next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "b1", "c1", "c2"]))
+        is None
+    )
 
 
-def test_a_seat_does_not_move_without_a_vm_to_take_it():
-    assert next_wanted(view(["a1", "b1", "c1"], ["a1", "b1"], gone=["c1"])) is None
+def test_unreachable_vm_is_kept_without_a_replacement():
+    assert (
+        next_wanted(
+            selection_view(["a1", "b1", "c1"], ["a1", "b1"], unreachable=["c1"])
+        )
+        is None
+    )
 
 
-def test_a_new_vm_takes_the_seat_of_one_that_is_gone():
-    seats = view(["a1", "b1", "c1"], ["a1", "b1", "c2"], gone=["c1"])
-    assert next_wanted(seats) == ("a1", "b1", "c2")
+def test_reachable_vm_replaces_an_unreachable_one():
+    view = selection_view(["a1", "b1", "c1"], ["a1", "b1", "c2"], unreachable=["c1"])
+    assert next_wanted(view) == ("a1", "b1", "c2")
 
 
-def test_the_zone_with_the_fewest_seats_comes_first():
-    seats = view(["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], gone=["c1"])
-    assert next_wanted(seats) == ("a1", "b1", "c2")
+def test_zone_with_fewest_voter_vms_is_preferred():
+    view = selection_view(
+        ["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], unreachable=["c1"]
+    )
+    assert next_wanted(view) == ("a1", "b1", "c2")
 
 
-def test_seats_grow_to_the_size_at_once():
-    present = ["a1", "a2", "b1", "b2", "c1", "c2"]
-    seats = next_wanted(view(["a1", "b1", "c1"], present, size=5))
-    assert seats == ("a1", "a2", "b1", "b2", "c1")
+def test_selection_grows_to_the_voter_count_in_one_step():
+    reachable = ["a1", "a2", "b1", "b2", "c1", "c2"]
+    voter_vms = next_wanted(
+        selection_view(["a1", "b1", "c1"], reachable, voter_count=5)
+    )
+    assert voter_vms == ("a1", "a2", "b1", "b2", "c1")
 
 
-def test_seats_do_not_grow_while_too_few_are_there():
-    assert next_wanted(view(["a1", "b1", "c1"], ["a1", "a2"], size=5)) is None
+def test_selection_does_not_grow_with_too_few_reachable_vms():
+    assert (
+        next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "a2"], voter_count=5))
+        is None
+    )
