--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -8,7 +8,7 @@
 from kumquatmux_core.identity import FlowKey
 from kumquatmux_core.segments import FLAG_FIN, FLAG_SYN, Segment
 
-GROWTH_SLOTS = 1_024
+MIN_GROWTH_SLOTS = 1_024
 NO_VM = 0xFFFF
 WAS_RESET = 255
 ROW_BYTES = 64
@@ -154,7 +154,7 @@
     def grow(self) -> None:
         """Add free slots, an eighth of the table at least."""
         size = len(self.keys)
-        more = max(GROWTH_SLOTS, size // 8)
+        more = max(MIN_GROWTH_SLOTS, size // 8)
         self.keys.extend([None] * more)
         for cold in (self.epochs, self.strike_times):
             cold.frombytes(bytes(more * cold.itemsize))
