--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -10,8 +10,8 @@
     NO_VM,
     FlowStatus,
     Mark,
-    end_of,
     is_at_least,
+    next_seq,
 )
 
 
@@ -50,7 +50,7 @@
         if backup is None:
             state.to_server(slot, segment)
             return
-        self.note_copy(slot, end_of(segment), now)
+        self.note_copy(slot, next_seq(segment), now)
         passing = Passing(Stage.STORE, 0, state.binding(slot))
         state.out.append(SendToPeer(backup, passing, segment.packet))
 
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -11,7 +11,7 @@
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, Role, end_of, is_after
+from kumquatmux_flows.table import FlowStatus, Mark, Role, is_after, next_seq
 
 ENDING_FLAGS = FLAG_FIN | FLAG_RST
 STALE_ORDER_FACTOR = 2
@@ -120,7 +120,7 @@
     def advance(self, slot: int, segment: Segment) -> None:
         """Move the next sequence number of the server forward."""
         table = self.state.table
-        end = end_of(segment)
+        end = next_seq(segment)
         seen = table.marks[slot] & Mark.SERVER_SEEN
         if not seen or is_after(end, table.server_nexts[slot]):
             table.server_nexts[slot] = end
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -162,7 +162,7 @@
         self.free.extend(range(size + more - 1, size - 1, -1))
 
 
-def end_of(segment: Segment) -> int:
+def next_seq(segment: Segment) -> int:
     """Return the sequence number after a segment."""
     length = segment.payload_length
     length += 1 if segment.flags & FLAG_SYN else 0
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -5,7 +5,7 @@
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, Segment
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, end_of, is_after
+from kumquatmux_flows.table import FlowStatus, Mark, is_after, next_seq
 
 
 class Tracking:
@@ -26,8 +26,8 @@
             self.track_ack(slot, segment)
         if segment.payload_length:
             self.track_payload(slot, segment, now)
-        elif is_after(end_of(segment), table.caller_nexts[slot]) or segment.opens:
-            table.caller_nexts[slot] = end_of(segment)
+        elif is_after(next_seq(segment), table.caller_nexts[slot]) or segment.opens:
+            table.caller_nexts[slot] = next_seq(segment)
             table.marks[slot] |= Mark.CALLER_SEEN
 
     def track_ack(self, slot: int, segment: Segment) -> None:
@@ -41,7 +41,7 @@
     def track_payload(self, slot: int, segment: Segment, now: float) -> None:
         """Count new bytes as work and old ones as a sign of silence."""
         table = self.state.table
-        end = end_of(segment)
+        end = next_seq(segment)
         seen = table.marks[slot] & Mark.CALLER_SEEN
         table.marks[slot] &= ~Mark.PROVISIONAL & 0xFF
         if segment.is_tcp and seen and not is_after(end, table.caller_nexts[slot]):
