Rename is_after to seq_after

It compares TCP sequence numbers.

Rename: libs/flows/src/kumquatmux_flows/table.py is_after seq_after

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -11,7 +11,7 @@
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, Role, is_after, next_seq
+from kumquatmux_flows.table import FlowStatus, Mark, Role, next_seq, seq_after
 
 ENDING_FLAGS = FLAG_FIN | FLAG_RST
 STALE_ORDER_FACTOR = 2
@@ -122,7 +122,7 @@
         table = self.state.table
         end = next_seq(segment)
         seen = table.marks[slot] & Mark.SERVER_SEEN
-        if not seen or is_after(end, table.server_nexts[slot]):
+        if not seen or seq_after(end, table.server_nexts[slot]):
             table.server_nexts[slot] = end
             table.marks[slot] |= Mark.SERVER_SEEN
 
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -18,8 +18,8 @@
     FlowStatus,
     Mark,
     Role,
-    is_after,
     is_at_least,
+    seq_after,
 )
 
 
@@ -47,7 +47,7 @@
         """Note a reply: it ends the silence if it acknowledges all, or more."""
         table = self.state.table
         known = table.server_acks[slot]
-        progress = known == 0 or is_after(ack, known)
+        progress = known == 0 or seq_after(ack, known)
         if progress:
             table.server_acks[slot] = ack
         whole = is_at_least(ack, table.caller_nexts[slot])
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -170,7 +170,7 @@
     return (segment.seq + length) & SEQUENCE_MASK
 
 
-def is_after(left: int, right: int) -> bool:
+def seq_after(left: int, right: int) -> bool:
     """Return whether one TCP sequence number is later than another."""
     return 0 < (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
 
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -5,7 +5,7 @@
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, Segment
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, is_after, next_seq
+from kumquatmux_flows.table import FlowStatus, Mark, next_seq, seq_after
 
 
 class Tracking:
@@ -26,7 +26,7 @@
             self.track_ack(slot, segment)
         if segment.payload_length:
             self.track_payload(slot, segment, now)
-        elif is_after(next_seq(segment), table.caller_nexts[slot]) or segment.opens:
+        elif seq_after(next_seq(segment), table.caller_nexts[slot]) or segment.opens:
             table.caller_nexts[slot] = next_seq(segment)
             table.marks[slot] |= Mark.CALLER_SEEN
 
@@ -34,7 +34,7 @@
         """Learn from an acknowledgement what the server has sent."""
         table = self.state.table
         seen = table.marks[slot] & Mark.SERVER_SEEN
-        if not seen or is_after(segment.ack, table.server_nexts[slot]):
+        if not seen or seq_after(segment.ack, table.server_nexts[slot]):
             table.server_nexts[slot] = segment.ack
             table.marks[slot] |= Mark.SERVER_SEEN
 
@@ -44,7 +44,7 @@
         end = next_seq(segment)
         seen = table.marks[slot] & Mark.CALLER_SEEN
         table.marks[slot] &= ~Mark.PROVISIONAL & 0xFF
-        if segment.is_tcp and seen and not is_after(end, table.caller_nexts[slot]):
+        if segment.is_tcp and seen and not seq_after(end, table.caller_nexts[slot]):
             self.silence.retransmitted(slot, segment, now)
             return
         table.caller_nexts[slot] = end
