--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -10,8 +10,8 @@
     NO_VM,
     FlowStatus,
     Mark,
-    is_at_least,
     next_seq,
+    seq_at_or_after,
 )
 
 
@@ -73,5 +73,5 @@
             return
         if table.statuses[slot] == FlowStatus.DATAGRAMS:
             table.marks[slot] |= Mark.CONFIRMED
-        elif is_at_least(ack, table.copy_seqs[slot]):
+        elif seq_at_or_after(ack, table.copy_seqs[slot]):
             table.marks[slot] |= Mark.CONFIRMED
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -18,8 +18,8 @@
     FlowStatus,
     Mark,
     Role,
-    is_at_least,
     seq_after,
+    seq_at_or_after,
 )
 
 
@@ -50,7 +50,7 @@
         progress = known == 0 or seq_after(ack, known)
         if progress:
             table.server_acks[slot] = ack
-        whole = is_at_least(ack, table.caller_nexts[slot])
+        whole = seq_at_or_after(ack, table.caller_nexts[slot])
         if not whole and not progress:
             return
         if table.strikes[slot] or (whole and table.marks[slot] & Mark.WORKING):
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -175,6 +175,6 @@
     return 0 < (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
 
 
-def is_at_least(left: int, right: int) -> bool:
+def seq_at_or_after(left: int, right: int) -> bool:
     """Return whether one TCP sequence number is another or later."""
     return (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
