Rename use_rows to map_columns

It maps the columns onto the rows.

Rename: libs/flows/src/kumquatmux_flows/table.py use_rows map_columns

--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -71,9 +71,9 @@
         self.counts = [0] * len(Role)
         self.epochs: array[int] = array("I")
         self.strike_times: array[float] = array("d")
-        self.use_rows(bytearray())
+        self.map_columns(bytearray())
 
-    def use_rows(self, rows: bytearray) -> None:
+    def map_columns(self, rows: bytearray) -> None:
         """Lay the columns over rows: one cache line holds what a packet needs."""
         self.rows = rows
         view = memoryview(rows)
@@ -158,7 +158,7 @@
         self.keys.extend([None] * more)
         for cold in (self.epochs, self.strike_times):
             cold.frombytes(bytes(more * cold.itemsize))
-        self.use_rows(self.rows + bytes(more * ROW_BYTES))
+        self.map_columns(self.rows + bytes(more * ROW_BYTES))
         self.free.extend(range(size + more - 1, size - 1, -1))
 
 
