Rename kept to retained_count

It counts the records held as owner or backup.

Rename: libs/flows/src/kumquatmux_flows/table.py kept retained_count

--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -44,7 +44,7 @@
         service = state.service_of(segment.key)
         if service is None:
             self.refuse_unknown_service(segment)
-        elif state.table.kept >= state.settings.flow_limit:
+        elif state.table.retained_count >= state.settings.flow_limit:
             state.refuse(segment, Refusal.TABLE_FULL)
         elif len(state.pending) >= state.settings.pending_limit:
             state.refuse(segment, Refusal.TABLE_FULL)
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -98,7 +98,7 @@
         self.reply_times = times[7 :: ROW_BYTES // 8]
 
     @property
-    def kept(self) -> int:
+    def retained_count(self) -> int:
         """Records held as owner or second copy."""
         return self.counts[Role.OWNER] + self.counts[Role.COPY]
 
