--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -61,7 +61,7 @@
         """Start over with a new flow of the same key on the same server."""
         table = self.state.table
         epoch = table.epochs[slot]
-        table.clear(slot)
+        table.reset_progress(slot)
         table.epochs[slot] = epoch
 
     def is_better(self, binding: Binding, slot: int, segment: Segment) -> bool:
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -113,10 +113,10 @@
         self.counts[role] += 1
         self.servers[slot] = server
         self.services[slot] = service
-        self.clear(slot)
+        self.reset_progress(slot)
         return slot
 
-    def clear(self, slot: int) -> None:
+    def reset_progress(self, slot: int) -> None:
         """Set the progress of a slot back to that of a new flow."""
         self.statuses[slot] = FlowStatus.HALF_OPEN
         self.marks[slot] = 0
