--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -67,7 +67,7 @@
     def __init__(self) -> None:
         self.slots: dict[FlowKey, int] = {}
         self.keys: list[FlowKey | None] = []
-        self.free: array[int] = array("I")
+        self.free_slots: array[int] = array("I")
         self.counts = [0] * len(Role)
         self.epochs: array[int] = array("I")
         self.strike_times: array[float] = array("d")
@@ -104,9 +104,9 @@
 
     def add(self, key: FlowKey, role: Role, server: int, service: int) -> int:
         """Return the slot of a new record for a key that has none."""
-        if not self.free:
+        if not self.free_slots:
             self.grow()
-        slot = self.free.pop()
+        slot = self.free_slots.pop()
         self.slots[key] = slot
         self.keys[slot] = key
         self.roles[slot] = role
@@ -143,7 +143,7 @@
         self.keys[slot] = None
         self.counts[self.roles[slot]] -= 1
         self.roles[slot] = Role.FREE
-        self.free.append(slot)
+        self.free_slots.append(slot)
 
     def set_role(self, slot: int, role: Role) -> None:
         """Change why a record is held."""
@@ -159,7 +159,7 @@
         for cold in (self.epochs, self.strike_times):
             cold.frombytes(bytes(more * cold.itemsize))
         self.map_columns(self.rows + bytes(more * ROW_BYTES))
-        self.free.extend(range(size + more - 1, size - 1, -1))
+        self.free_slots.extend(range(size + more - 1, size - 1, -1))
 
 
 def next_seq(segment: Segment) -> int:
