--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -90,7 +90,7 @@
         state = self.state
         table = state.table
         order = state.learned_order
-        while table.counts[Role.LEARNED] >= state.settings.learned_limit and order:
+        while table.role_counts[Role.LEARNED] >= state.settings.learned_limit and order:
             slot = table.slots.get(order.popleft())
             if slot is not None and table.roles[slot] == Role.LEARNED:
                 table.remove(slot)
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -207,7 +207,7 @@
         state = self.state
         if self.told_quiet or not state.ranking.leaving:
             return
-        if state.pending or state.table.counts[Role.OWNER]:
+        if state.pending or state.table.role_counts[Role.OWNER]:
             return
         if now - state.last_packet < state.settings.quiet_seconds:
             return
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -68,7 +68,7 @@
         self.slots: dict[FlowKey, int] = {}
         self.keys: list[FlowKey | None] = []
         self.free_slots: array[int] = array("I")
-        self.counts = [0] * len(Role)
+        self.role_counts = [0] * len(Role)
         self.epochs: array[int] = array("I")
         self.strike_times: array[float] = array("d")
         self.map_columns(bytearray())
@@ -100,7 +100,7 @@
     @property
     def retained_count(self) -> int:
         """Records held as owner or second copy."""
-        return self.counts[Role.OWNER] + self.counts[Role.COPY]
+        return self.role_counts[Role.OWNER] + self.role_counts[Role.COPY]
 
     def add(self, key: FlowKey, role: Role, server: int, service: int) -> int:
         """Return the slot of a new record for a key that has none."""
@@ -110,7 +110,7 @@
         self.slots[key] = slot
         self.keys[slot] = key
         self.roles[slot] = role
-        self.counts[role] += 1
+        self.role_counts[role] += 1
         self.servers[slot] = server
         self.services[slot] = service
         self.reset_progress(slot)
@@ -141,14 +141,14 @@
             raise ValueError(f"slot {slot} is free already")
         del self.slots[key]
         self.keys[slot] = None
-        self.counts[self.roles[slot]] -= 1
+        self.role_counts[self.roles[slot]] -= 1
         self.roles[slot] = Role.FREE
         self.free_slots.append(slot)
 
     def set_role(self, slot: int, role: Role) -> None:
         """Change why a record is held."""
-        self.counts[self.roles[slot]] -= 1
-        self.counts[role] += 1
+        self.role_counts[self.roles[slot]] -= 1
+        self.role_counts[role] += 1
         self.roles[slot] = role
 
     def grow(self) -> None:
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -109,7 +109,7 @@
     for port in range(2, 12):
         reply = cases.segment(cases.key_of(port), seq=5, ack=6, length=7)
         made.handle(ServerPacket(reply, SERVER), SETTLED)
-    counts = made.state.table.counts
+    counts = made.state.table.role_counts
     assert (counts[Role.LEARNED], counts[Role.OWNER]) == (3, 1)
     assert cases.key_of(11) in made.state.table.slots
 
