Rename marks to flow_flags

The column holds flag bits of each flow.

Rename: libs/flows/src/kumquatmux_flows/table.py marks flow_flags

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -214,7 +214,7 @@
         table.server_nexts[slot] = record.caller_ack
         table.caller_times[slot] = now - record.idle
         if record.caller_ack:
-            table.marks[slot] |= Mark.SERVER_SEEN
+            table.flow_flags[slot] |= Mark.SERVER_SEEN
         return slot
 
     def refresh(self, slot: int, record: FlowRecord, now: float) -> None:
@@ -250,7 +250,7 @@
         if table.roles[slot] != Role.OWNER:
             return
         table.copies[slot] = state.ranking.number(vm)
-        table.marks[slot] |= Mark.CONFIRMED
+        table.flow_flags[slot] |= Mark.CONFIRMED
         place = state.routes.places[table.services[slot]]
         if state.ranking.rank(place)[:1] == [vm]:
             state.yield_role(slot, Role.COPY, "owner-moved")
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -87,7 +87,7 @@
         table = self.state.table
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
-        seen = table.marks[slot] & Mark.SERVER_SEEN
+        seen = table.flow_flags[slot] & Mark.SERVER_SEEN
         return bool(seen) and table.roles[slot] == Role.OWNER
 
     def replace(self, slot: int, segment: Segment, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -27,7 +27,7 @@
         backup = self.backup_number(slot)
         if backup == NO_VM:
             return True
-        if table.copies[slot] != backup or not table.marks[slot] & Mark.CONFIRMED:
+        if table.copies[slot] != backup or not table.flow_flags[slot] & Mark.CONFIRMED:
             return False
         age = now - table.copy_times[slot]
         return age < self.state.settings.copy_refresh_seconds
@@ -60,18 +60,18 @@
         backup = self.backup_number(slot)
         if table.copies[slot] != backup:
             table.copies[slot] = backup
-            table.marks[slot] &= ~Mark.CONFIRMED & 0xFF
-        if not table.marks[slot] & Mark.CONFIRMED:
+            table.flow_flags[slot] &= ~Mark.CONFIRMED & 0xFF
+        if not table.flow_flags[slot] & Mark.CONFIRMED:
             table.copy_seqs[slot] = seq
         table.copy_times[slot] = now
 
     def confirm_copy(self, slot: int, ack: int) -> None:
         """Note that a reply proves that the backup forwarded a packet."""
         table = self.state.table
-        marks = table.marks[slot]
+        marks = table.flow_flags[slot]
         if marks & Mark.CONFIRMED or table.copies[slot] == NO_VM:
             return
         if table.statuses[slot] == FlowStatus.DATAGRAMS:
-            table.marks[slot] |= Mark.CONFIRMED
+            table.flow_flags[slot] |= Mark.CONFIRMED
         elif seq_at_or_after(ack, table.copy_seqs[slot]):
-            table.marks[slot] |= Mark.CONFIRMED
+            table.flow_flags[slot] |= Mark.CONFIRMED
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -221,7 +221,7 @@
             return routes.addresses[server]
         if not self.owned[service]:
             return None
-        marks = table.marks[slot]
+        marks = table.flow_flags[slot]
         backup = self.backups[service][routes.zones[server]]
         if backup != NO_VM:
             if table.copies[slot] != backup or not marks & CONFIRMED:
@@ -255,7 +255,7 @@
         if not marks & WORKING:
             self.state.start_work(slot)
         elif marks & PROVISIONAL:
-            table.marks[slot] = marks & ~PROVISIONAL
+            table.flow_flags[slot] = marks & ~PROVISIONAL
         return True
 
     def route_reply(
@@ -298,7 +298,7 @@
     def count_reply(self, slot: int, ack: int, payload_length: int, now: float) -> bool:
         """Count a reply at the owner; return False if the slow path has to see it."""
         table = self.state.table
-        marks = table.marks[slot]
+        marks = table.flow_flags[slot]
         if not marks & CONFIRMED and table.copies[slot] != NO_VM:
             return False
         told = ack == table.server_acks[slot] and not self.silence.asked
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -21,7 +21,7 @@
         table = self.state.table
         if segment.flags & (FLAG_SYN | FLAG_RST) or not segment.flags & FLAG_ACK:
             return False
-        seen = table.marks[slot] & Mark.SERVER_SEEN
+        seen = table.flow_flags[slot] & Mark.SERVER_SEEN
         if table.statuses[slot] == FlowStatus.ESTABLISHED:
             current = seen and table.roles[slot] == Role.OWNER
             known = table.server_nexts[slot] != 0
@@ -30,7 +30,7 @@
             return False
         if seen:
             return self.is_far(slot, segment, NEAR_BYTES)
-        return bool(table.marks[slot] & Mark.PLACED)
+        return bool(table.flow_flags[slot] & Mark.PLACED)
 
     def is_far(self, slot: int, segment: Segment, limit: int) -> bool:
         """Return whether an acknowledgement does not fit what a server has sent."""
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -110,7 +110,7 @@
         if segment.flags & FLAG_RST:
             state.close(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
-            table.marks[slot] |= Mark.CALLER_FIN
+            table.flow_flags[slot] |= Mark.CALLER_FIN
             self.callers.tracking.closing(slot, now)
 
     def follow(self, slot: int, segment: Segment, now: float) -> None:
@@ -122,7 +122,7 @@
             table.server_nexts[slot] = segment.ack
         if segment.opens:
             if table.caller_isns[slot] != segment.seq:
-                table.marks[slot] = 0
+                table.flow_flags[slot] = 0
                 table.statuses[slot] = FlowStatus.HALF_OPEN
             table.caller_isns[slot] = segment.seq
         elif not segment.is_tcp:
@@ -173,7 +173,11 @@
         if self.callers.evidence.contradicts(slot, segment):
             return None
         half_open = state.table.statuses[slot] == FlowStatus.HALF_OPEN
-        if doubted and half_open and not state.table.marks[slot] & Mark.SERVER_SEEN:
+        if (
+            doubted
+            and half_open
+            and not state.table.flow_flags[slot] & Mark.SERVER_SEEN
+        ):
             return None
         return state.binding(slot)
 
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -170,7 +170,7 @@
         state = self.state
         held = state.table.copies[slot] == state.ranking.number(owner)
         owned = state.table.roles[slot] == Role.OWNER
-        if owned and held and state.table.marks[slot] & Mark.CONFIRMED:
+        if owned and held and state.table.flow_flags[slot] & Mark.CONFIRMED:
             state.yield_role(slot, Role.COPY, "owner-moved")
             return
         self.batches.collect(slot, owner, now)
@@ -186,7 +186,7 @@
             return
         held = table.copies[slot] == state.ranking.number(backup)
         fresh = now - table.copy_times[slot] < self.idle_limit(slot) / 2
-        if held and fresh and table.marks[slot] & Mark.CONFIRMED:
+        if held and fresh and table.flow_flags[slot] & Mark.CONFIRMED:
             return
         self.batches.collect(slot, backup, now)
 
@@ -199,7 +199,7 @@
             slot = table.slots.get(grace.key)
             if slot is None or table.epochs[slot] != grace.epoch:
                 continue
-            if table.marks[slot] & Mark.PROVISIONAL:
+            if table.flow_flags[slot] & Mark.PROVISIONAL:
                 state.answer_work(slot)
 
     def tell_quiet(self, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -82,7 +82,7 @@
         times = view.cast("d")
         self.roles = view[0::ROW_BYTES]
         self.statuses = view[1::ROW_BYTES]
-        self.marks = view[2::ROW_BYTES]
+        self.flow_flags = view[2::ROW_BYTES]
         self.strikes = view[3::ROW_BYTES]
         self.services = short[2 :: ROW_BYTES // 2]
         self.copies = short[3 :: ROW_BYTES // 2]
@@ -119,7 +119,7 @@
     def reset_progress(self, slot: int) -> None:
         """Set the progress of a slot back to that of a new flow."""
         self.statuses[slot] = FlowStatus.HALF_OPEN
-        self.marks[slot] = 0
+        self.flow_flags[slot] = 0
         self.strikes[slot] = 0
         self.copies[slot] = NO_VM
         self.epochs[slot] = 0
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -28,27 +28,27 @@
             self.track_payload(slot, segment, now)
         elif seq_after(next_seq(segment), table.caller_nexts[slot]) or segment.opens:
             table.caller_nexts[slot] = next_seq(segment)
-            table.marks[slot] |= Mark.CALLER_SEEN
+            table.flow_flags[slot] |= Mark.CALLER_SEEN
 
     def track_ack(self, slot: int, segment: Segment) -> None:
         """Learn from an acknowledgement what the server has sent."""
         table = self.state.table
-        seen = table.marks[slot] & Mark.SERVER_SEEN
+        seen = table.flow_flags[slot] & Mark.SERVER_SEEN
         if not seen or seq_after(segment.ack, table.server_nexts[slot]):
             table.server_nexts[slot] = segment.ack
-            table.marks[slot] |= Mark.SERVER_SEEN
+            table.flow_flags[slot] |= Mark.SERVER_SEEN
 
     def track_payload(self, slot: int, segment: Segment, now: float) -> None:
         """Count new bytes as work and old ones as a sign of silence."""
         table = self.state.table
         end = next_seq(segment)
-        seen = table.marks[slot] & Mark.CALLER_SEEN
-        table.marks[slot] &= ~Mark.PROVISIONAL & 0xFF
+        seen = table.flow_flags[slot] & Mark.CALLER_SEEN
+        table.flow_flags[slot] &= ~Mark.PROVISIONAL & 0xFF
         if segment.is_tcp and seen and not seq_after(end, table.caller_nexts[slot]):
             self.silence.retransmitted(slot, segment, now)
             return
         table.caller_nexts[slot] = end
-        table.marks[slot] |= Mark.CALLER_SEEN
+        table.flow_flags[slot] |= Mark.CALLER_SEEN
         self.state.start_work(slot)
 
     def track_end(self, slot: int, segment: Segment, now: float) -> None:
@@ -58,13 +58,13 @@
         if segment.flags & FLAG_RST:
             state.close(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
-            table.marks[slot] |= Mark.CALLER_FIN
+            table.flow_flags[slot] |= Mark.CALLER_FIN
             self.closing(slot, now)
 
     def closing(self, slot: int, now: float) -> None:
         """Follow a FIN: the second one ends the flow."""
         table = self.state.table
-        marks = table.marks[slot]
+        marks = table.flow_flags[slot]
         if marks & Mark.CALLER_FIN and marks & Mark.SERVER_FIN:
             self.state.close(slot, "finished", now)
         elif table.statuses[slot] != FlowStatus.CLOSED:
