Rename Mark to FlowFlag

The enum names the flag bits of a flow.

Rename: libs/flows/src/kumquatmux_flows/table.py Mark FlowFlag

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -18,7 +18,7 @@
 from kumquatmux_flows.routes import place_of
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import WAS_RESET, FlowStatus, Mark, Role
+from kumquatmux_flows.table import WAS_RESET, FlowFlag, FlowStatus, Role
 
 RECORD_BYTES = 56
 BATCH_BYTES = 24
@@ -214,7 +214,7 @@
         table.server_nexts[slot] = record.caller_ack
         table.caller_times[slot] = now - record.idle
         if record.caller_ack:
-            table.flow_flags[slot] |= Mark.SERVER_SEEN
+            table.flow_flags[slot] |= FlowFlag.SERVER_SEEN
         return slot
 
     def refresh(self, slot: int, record: FlowRecord, now: float) -> None:
@@ -250,7 +250,7 @@
         if table.roles[slot] != Role.OWNER:
             return
         table.copies[slot] = state.ranking.number(vm)
-        table.flow_flags[slot] |= Mark.CONFIRMED
+        table.flow_flags[slot] |= FlowFlag.CONFIRMED
         place = state.routes.places[table.services[slot]]
         if state.ranking.rank(place)[:1] == [vm]:
             state.yield_role(slot, Role.COPY, "owner-moved")
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -9,7 +9,7 @@
 from kumquatmux_flows.messages import LostRecord
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, Role
+from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
 
 class Bindings:
@@ -87,7 +87,7 @@
         table = self.state.table
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
-        seen = table.flow_flags[slot] & Mark.SERVER_SEEN
+        seen = table.flow_flags[slot] & FlowFlag.SERVER_SEEN
         return bool(seen) and table.roles[slot] == Role.OWNER
 
     def replace(self, slot: int, segment: Segment, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -20,7 +20,7 @@
 from kumquatmux_flows.routes import place_of
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import WAS_RESET, FlowStatus, Mark, Role
+from kumquatmux_flows.table import WAS_RESET, FlowFlag, FlowStatus, Role
 from kumquatmux_flows.tracking import Tracking
 
 LIFECYCLE_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
@@ -232,7 +232,7 @@
         Without any answer of the server seen here, that is given up after two searches,
         but not while a cut may hide the other record.
         """
-        seen = self.state.table.flow_flags[slot] & Mark.SERVER_SEEN
+        seen = self.state.table.flow_flags[slot] & FlowFlag.SERVER_SEEN
         return bool(seen) or self.unsettled(now) or not self.missed_twice(segment, now)
 
     def confirmed_by_search(self, slot: int, segment: Segment, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -8,8 +8,8 @@
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import (
     NO_VM,
+    FlowFlag,
     FlowStatus,
-    Mark,
     next_seq,
     seq_at_or_after,
 )
@@ -27,7 +27,10 @@
         backup = self.backup_number(slot)
         if backup == NO_VM:
             return True
-        if table.copies[slot] != backup or not table.flow_flags[slot] & Mark.CONFIRMED:
+        if (
+            table.copies[slot] != backup
+            or not table.flow_flags[slot] & FlowFlag.CONFIRMED
+        ):
             return False
         age = now - table.copy_times[slot]
         return age < self.state.settings.copy_refresh_seconds
@@ -60,8 +63,8 @@
         backup = self.backup_number(slot)
         if table.copies[slot] != backup:
             table.copies[slot] = backup
-            table.flow_flags[slot] &= ~Mark.CONFIRMED & 0xFF
-        if not table.flow_flags[slot] & Mark.CONFIRMED:
+            table.flow_flags[slot] &= ~FlowFlag.CONFIRMED & 0xFF
+        if not table.flow_flags[slot] & FlowFlag.CONFIRMED:
             table.copy_seqs[slot] = seq
         table.copy_times[slot] = now
 
@@ -69,9 +72,9 @@
         """Note that a reply proves that the backup forwarded a packet."""
         table = self.state.table
         marks = table.flow_flags[slot]
-        if marks & Mark.CONFIRMED or table.copies[slot] == NO_VM:
+        if marks & FlowFlag.CONFIRMED or table.copies[slot] == NO_VM:
             return
         if table.statuses[slot] == FlowStatus.DATAGRAMS:
-            table.flow_flags[slot] |= Mark.CONFIRMED
+            table.flow_flags[slot] |= FlowFlag.CONFIRMED
         elif seq_at_or_after(ack, table.copy_seqs[slot]):
-            table.flow_flags[slot] |= Mark.CONFIRMED
+            table.flow_flags[slot] |= FlowFlag.CONFIRMED
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -38,15 +38,15 @@
     NO_VM,
     SEQUENCE_HALF,
     SEQUENCE_MASK,
+    FlowFlag,
     FlowStatus,
-    Mark,
     Role,
 )
 
 SLOW_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
-WORKING = int(Mark.WORKING)
-CONFIRMED = int(Mark.CONFIRMED)
-PROVISIONAL = int(Mark.PROVISIONAL)
+WORKING = int(FlowFlag.WORKING)
+CONFIRMED = int(FlowFlag.CONFIRMED)
+PROVISIONAL = int(FlowFlag.PROVISIONAL)
 LEARNED = int(Role.LEARNED)
 OWNER = int(Role.OWNER)
 ESTABLISHED = int(FlowStatus.ESTABLISHED)
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -4,7 +4,7 @@
 
 from kumquatmux_core.segments import FLAG_ACK, FLAG_RST, FLAG_SYN, Segment
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import SEQUENCE_MASK, FlowStatus, Mark, Role
+from kumquatmux_flows.table import SEQUENCE_MASK, FlowFlag, FlowStatus, Role
 
 NEAR_BYTES = 1 << 20
 WIDE_BYTES = 1 << 28
@@ -21,7 +21,7 @@
         table = self.state.table
         if segment.flags & (FLAG_SYN | FLAG_RST) or not segment.flags & FLAG_ACK:
             return False
-        seen = table.flow_flags[slot] & Mark.SERVER_SEEN
+        seen = table.flow_flags[slot] & FlowFlag.SERVER_SEEN
         if table.statuses[slot] == FlowStatus.ESTABLISHED:
             current = seen and table.roles[slot] == Role.OWNER
             known = table.server_nexts[slot] != 0
@@ -30,7 +30,7 @@
             return False
         if seen:
             return self.is_far(slot, segment, NEAR_BYTES)
-        return bool(table.flow_flags[slot] & Mark.PLACED)
+        return bool(table.flow_flags[slot] & FlowFlag.PLACED)
 
     def is_far(self, slot: int, segment: Segment, limit: int) -> bool:
         """Return whether an acknowledgement does not fit what a server has sent."""
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -8,7 +8,7 @@
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.replies import ReplyPath
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, Role
+from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
 CORRECTED = 1
 
@@ -110,7 +110,7 @@
         if segment.flags & FLAG_RST:
             state.close(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
-            table.flow_flags[slot] |= Mark.CALLER_FIN
+            table.flow_flags[slot] |= FlowFlag.CALLER_FIN
             self.callers.tracking.closing(slot, now)
 
     def follow(self, slot: int, segment: Segment, now: float) -> None:
@@ -176,7 +176,7 @@
         if (
             doubted
             and half_open
-            and not state.table.flow_flags[slot] & Mark.SERVER_SEEN
+            and not state.table.flow_flags[slot] & FlowFlag.SERVER_SEEN
         ):
             return None
         return state.binding(slot)
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -14,7 +14,7 @@
 )
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.state import FlowState, Grace, Pending
-from kumquatmux_flows.table import FlowStatus, Mark, Role
+from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
 
 class Placing:
@@ -93,7 +93,7 @@
         slot = table.add(key, Role.OWNER, server, pending.service)
         table.epochs[slot] = pending.epoch
         table.revisions[slot] = max(state.routes.revision, 0)
-        table.flow_flags[slot] = Mark.PLACED
+        table.flow_flags[slot] = FlowFlag.PLACED
         if not pending.segments[0].is_tcp:
             table.statuses[slot] = FlowStatus.DATAGRAMS
         return slot
@@ -116,7 +116,7 @@
         slot = self.new_record(event.key, server, pending)
         state.say_slot("flow-placed", slot, "placement")
         state.start_work(slot)
-        state.table.flow_flags[slot] |= Mark.PROVISIONAL
+        state.table.flow_flags[slot] |= FlowFlag.PROVISIONAL
         until = now + state.settings.opening_grace_seconds
         state.graces.append(Grace(until, event.key, pending.epoch))
         return pending.segments
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -11,7 +11,7 @@
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, Role, next_seq, seq_after
+from kumquatmux_flows.table import FlowFlag, FlowStatus, Role, next_seq, seq_after
 
 ENDING_FLAGS = FLAG_FIN | FLAG_RST
 STALE_ORDER_FACTOR = 2
@@ -121,10 +121,10 @@
         """Move the next sequence number of the server forward."""
         table = self.state.table
         end = next_seq(segment)
-        seen = table.flow_flags[slot] & Mark.SERVER_SEEN
+        seen = table.flow_flags[slot] & FlowFlag.SERVER_SEEN
         if not seen or seq_after(end, table.server_nexts[slot]):
             table.server_nexts[slot] = end
-            table.flow_flags[slot] |= Mark.SERVER_SEEN
+            table.flow_flags[slot] |= FlowFlag.SERVER_SEEN
 
     def own(self, segment: Segment, server: Address, now: float) -> None:
         """Handle a reply as the owner of its flow."""
@@ -162,7 +162,7 @@
         state = self.state
         table = state.table
         table.reply_times[slot] = now
-        if not table.flow_flags[slot] & Mark.SERVER_SEEN and segment.is_tcp:
+        if not table.flow_flags[slot] & FlowFlag.SERVER_SEEN and segment.is_tcp:
             self.advance(slot, segment)
         if segment.flags & FLAG_ACK:
             self.silence.answered(slot, segment.ack, now)
@@ -181,7 +181,7 @@
         if segment.flags & FLAG_RST:
             state.close(slot, "reset-by-server", now)
         else:
-            state.table.flow_flags[slot] |= Mark.SERVER_FIN
+            state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
             self.callers.tracking.closing(slot, now)
         backup = self.callers.copies.backup_of(slot)
         if backup is None:
@@ -199,7 +199,7 @@
             if segment.flags & FLAG_RST:
                 state.close(slot, "reset-by-server", now)
             else:
-                state.table.flow_flags[slot] |= Mark.SERVER_FIN
+                state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
                 self.callers.tracking.closing(slot, now)
         self.to_caller(segment)
 
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -15,8 +15,8 @@
 from kumquatmux_flows.table import (
     SEQUENCE_MASK,
     WAS_RESET,
+    FlowFlag,
     FlowStatus,
-    Mark,
     Role,
     seq_after,
     seq_at_or_after,
@@ -53,7 +53,7 @@
         whole = seq_at_or_after(ack, table.caller_nexts[slot])
         if not whole and not progress:
             return
-        if table.strikes[slot] or (whole and table.flow_flags[slot] & Mark.WORKING):
+        if table.strikes[slot] or (whole and table.flow_flags[slot] & FlowFlag.WORKING):
             self.note_answer(slot, now)
         elif table.servers[slot] in self.asked:
             self.take_witness(slot, now)
@@ -191,7 +191,7 @@
         caller_ack = table.server_nexts[slot]
         seq = (server_ack or table.caller_nexts[slot]) - 1 & SEQUENCE_MASK
         state.out.append(ProbeServer(key, state.address_of(slot), seq, caller_ack))
-        if server_ack and table.flow_flags[slot] & Mark.SERVER_SEEN:
+        if server_ack and table.flow_flags[slot] & FlowFlag.SERVER_SEEN:
             seq = caller_ack - 1 & SEQUENCE_MASK
             state.out.append(ProbeCaller(key, seq, server_ack))
 
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -31,7 +31,7 @@
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.routes import Routes, place_of
 from kumquatmux_flows.settings import FlowSettings
-from kumquatmux_flows.table import FlowStatus, FlowTable, Mark, Role
+from kumquatmux_flows.table import FlowFlag, FlowStatus, FlowTable, Role
 
 
 class FlowName(NamedTuple):
@@ -160,17 +160,17 @@
     def start_work(self, slot: int) -> None:
         """Take a slot of the server, unless the flow holds one."""
         key = self.table.keys[slot]
-        if key is None or self.table.flow_flags[slot] & Mark.WORKING:
+        if key is None or self.table.flow_flags[slot] & FlowFlag.WORKING:
             return
-        self.table.flow_flags[slot] |= Mark.WORKING
+        self.table.flow_flags[slot] |= FlowFlag.WORKING
         self.out.append(WorkStarted(key, self.address_of(slot)))
 
     def answer_work(self, slot: int) -> None:
         """Give the slot back, if the flow holds one."""
         key = self.table.keys[slot]
-        if key is None or not self.table.flow_flags[slot] & Mark.WORKING:
+        if key is None or not self.table.flow_flags[slot] & FlowFlag.WORKING:
             return
-        self.table.flow_flags[slot] &= ~(Mark.WORKING | Mark.PROVISIONAL) & 0xFF
+        self.table.flow_flags[slot] &= ~(FlowFlag.WORKING | FlowFlag.PROVISIONAL) & 0xFF
         self.out.append(WorkAnswered(key, self.address_of(slot)))
 
     def adopt(self, slot: int, reason: str) -> None:
@@ -179,9 +179,9 @@
         if key is None or self.table.roles[slot] == Role.OWNER:
             return
         self.table.set_role(slot, Role.OWNER)
-        kept = Mark.CALLER_FIN | Mark.SERVER_FIN
+        kept = FlowFlag.CALLER_FIN | FlowFlag.SERVER_FIN
         if self.table.statuses[slot] == FlowStatus.HALF_OPEN:
-            kept |= Mark.SERVER_SEEN
+            kept |= FlowFlag.SERVER_SEEN
         self.table.flow_flags[slot] &= kept
         self.table.strikes[slot] = 0
         if self.table.statuses[slot] != FlowStatus.CLOSED:
@@ -195,7 +195,7 @@
             return
         if self.table.statuses[slot] != FlowStatus.CLOSED:
             self.out.append(FlowClosed(key, self.address_of(slot)))
-        self.table.flow_flags[slot] &= ~(Mark.WORKING | Mark.PROVISIONAL) & 0xFF
+        self.table.flow_flags[slot] &= ~(FlowFlag.WORKING | FlowFlag.PROVISIONAL) & 0xFF
         self.table.set_role(slot, role)
         self.say_slot("flow-handed-over", slot, reason)
 
@@ -208,7 +208,7 @@
             self.out.append(FlowClosed(key, self.address_of(slot)))
             self.say_slot("flow-closed", slot, reason)
         self.table.statuses[slot] = FlowStatus.CLOSED
-        self.table.flow_flags[slot] &= ~(Mark.WORKING | Mark.PROVISIONAL) & 0xFF
+        self.table.flow_flags[slot] &= ~(FlowFlag.WORKING | FlowFlag.PROVISIONAL) & 0xFF
         self.table.strike_times[slot] = now
 
     def forget(self, slot: int, reason: str, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -13,8 +13,8 @@
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import (
+    FlowFlag,
     FlowStatus,
-    Mark,
     Role,
 )
 
@@ -170,7 +170,7 @@
         state = self.state
         held = state.table.copies[slot] == state.ranking.number(owner)
         owned = state.table.roles[slot] == Role.OWNER
-        if owned and held and state.table.flow_flags[slot] & Mark.CONFIRMED:
+        if owned and held and state.table.flow_flags[slot] & FlowFlag.CONFIRMED:
             state.yield_role(slot, Role.COPY, "owner-moved")
             return
         self.batches.collect(slot, owner, now)
@@ -186,7 +186,7 @@
             return
         held = table.copies[slot] == state.ranking.number(backup)
         fresh = now - table.copy_times[slot] < self.idle_limit(slot) / 2
-        if held and fresh and table.flow_flags[slot] & Mark.CONFIRMED:
+        if held and fresh and table.flow_flags[slot] & FlowFlag.CONFIRMED:
             return
         self.batches.collect(slot, backup, now)
 
@@ -199,7 +199,7 @@
             slot = table.slots.get(grace.key)
             if slot is None or table.epochs[slot] != grace.epoch:
                 continue
-            if table.flow_flags[slot] & Mark.PROVISIONAL:
+            if table.flow_flags[slot] & FlowFlag.PROVISIONAL:
                 state.answer_work(slot)
 
     def tell_quiet(self, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -35,7 +35,7 @@
     DATAGRAMS = 4
 
 
-class Mark(IntEnum):
+class FlowFlag(IntEnum):
     """Facts about one flow, one bit each.
 
     ``PLACED`` tells flows placed by this VM. ``SERVER_SEEN`` says that
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -5,7 +5,7 @@
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, Segment
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, next_seq, seq_after
+from kumquatmux_flows.table import FlowFlag, FlowStatus, next_seq, seq_after
 
 
 class Tracking:
@@ -28,27 +28,27 @@
             self.track_payload(slot, segment, now)
         elif seq_after(next_seq(segment), table.caller_nexts[slot]) or segment.opens:
             table.caller_nexts[slot] = next_seq(segment)
-            table.flow_flags[slot] |= Mark.CALLER_SEEN
+            table.flow_flags[slot] |= FlowFlag.CALLER_SEEN
 
     def track_ack(self, slot: int, segment: Segment) -> None:
         """Learn from an acknowledgement what the server has sent."""
         table = self.state.table
-        seen = table.flow_flags[slot] & Mark.SERVER_SEEN
+        seen = table.flow_flags[slot] & FlowFlag.SERVER_SEEN
         if not seen or seq_after(segment.ack, table.server_nexts[slot]):
             table.server_nexts[slot] = segment.ack
-            table.flow_flags[slot] |= Mark.SERVER_SEEN
+            table.flow_flags[slot] |= FlowFlag.SERVER_SEEN
 
     def track_payload(self, slot: int, segment: Segment, now: float) -> None:
         """Count new bytes as work and old ones as a sign of silence."""
         table = self.state.table
         end = next_seq(segment)
-        seen = table.flow_flags[slot] & Mark.CALLER_SEEN
-        table.flow_flags[slot] &= ~Mark.PROVISIONAL & 0xFF
+        seen = table.flow_flags[slot] & FlowFlag.CALLER_SEEN
+        table.flow_flags[slot] &= ~FlowFlag.PROVISIONAL & 0xFF
         if segment.is_tcp and seen and not seq_after(end, table.caller_nexts[slot]):
             self.silence.retransmitted(slot, segment, now)
             return
         table.caller_nexts[slot] = end
-        table.flow_flags[slot] |= Mark.CALLER_SEEN
+        table.flow_flags[slot] |= FlowFlag.CALLER_SEEN
         self.state.start_work(slot)
 
     def track_end(self, slot: int, segment: Segment, now: float) -> None:
@@ -58,14 +58,14 @@
         if segment.flags & FLAG_RST:
             state.close(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
-            table.flow_flags[slot] |= Mark.CALLER_FIN
+            table.flow_flags[slot] |= FlowFlag.CALLER_FIN
             self.closing(slot, now)
 
     def closing(self, slot: int, now: float) -> None:
         """Follow a FIN: the second one ends the flow."""
         table = self.state.table
         marks = table.flow_flags[slot]
-        if marks & Mark.CALLER_FIN and marks & Mark.SERVER_FIN:
+        if marks & FlowFlag.CALLER_FIN and marks & FlowFlag.SERVER_FIN:
             self.state.close(slot, "finished", now)
         elif table.statuses[slot] != FlowStatus.CLOSED:
             table.statuses[slot] = FlowStatus.CLOSING
