Rename WORKING to WORK_PENDING

The flag says that caller bytes are unanswered.

Rename: libs/flows/src/kumquatmux_flows/table.py WORKING WORK_PENDING

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -44,7 +44,7 @@
 )
 
 SLOW_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
-WORKING = int(FlowFlag.WORKING)
+WORKING = int(FlowFlag.WORK_PENDING)
 CONFIRMED = int(FlowFlag.CONFIRMED)
 PROVISIONAL = int(FlowFlag.PROVISIONAL)
 LEARNED = int(Role.LEARNED)
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -53,7 +53,9 @@
         whole = seq_at_or_after(ack, table.caller_nexts[slot])
         if not whole and not progress:
             return
-        if table.strikes[slot] or (whole and table.flow_flags[slot] & FlowFlag.WORKING):
+        if table.strikes[slot] or (
+            whole and table.flow_flags[slot] & FlowFlag.WORK_PENDING
+        ):
             self.note_answer(slot, now)
         elif table.servers[slot] in self.asked:
             self.take_witness(slot, now)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -160,17 +160,19 @@
     def start_work(self, slot: int) -> None:
         """Take a slot of the server, unless the flow holds one."""
         key = self.table.keys[slot]
-        if key is None or self.table.flow_flags[slot] & FlowFlag.WORKING:
+        if key is None or self.table.flow_flags[slot] & FlowFlag.WORK_PENDING:
             return
-        self.table.flow_flags[slot] |= FlowFlag.WORKING
+        self.table.flow_flags[slot] |= FlowFlag.WORK_PENDING
         self.out.append(WorkStarted(key, self.address_of(slot)))
 
     def answer_work(self, slot: int) -> None:
         """Give the slot back, if the flow holds one."""
         key = self.table.keys[slot]
-        if key is None or not self.table.flow_flags[slot] & FlowFlag.WORKING:
+        if key is None or not self.table.flow_flags[slot] & FlowFlag.WORK_PENDING:
             return
-        self.table.flow_flags[slot] &= ~(FlowFlag.WORKING | FlowFlag.PROVISIONAL) & 0xFF
+        self.table.flow_flags[slot] &= (
+            ~(FlowFlag.WORK_PENDING | FlowFlag.PROVISIONAL) & 0xFF
+        )
         self.out.append(WorkAnswered(key, self.address_of(slot)))
 
     def adopt(self, slot: int, reason: str) -> None:
@@ -195,7 +197,9 @@
             return
         if self.table.statuses[slot] != FlowStatus.CLOSED:
             self.out.append(FlowClosed(key, self.address_of(slot)))
-        self.table.flow_flags[slot] &= ~(FlowFlag.WORKING | FlowFlag.PROVISIONAL) & 0xFF
+        self.table.flow_flags[slot] &= (
+            ~(FlowFlag.WORK_PENDING | FlowFlag.PROVISIONAL) & 0xFF
+        )
         self.table.set_role(slot, role)
         self.say_slot("flow-handed-over", slot, reason)
 
@@ -208,7 +212,9 @@
             self.out.append(FlowClosed(key, self.address_of(slot)))
             self.say_slot("flow-closed", slot, reason)
         self.table.statuses[slot] = FlowStatus.CLOSED
-        self.table.flow_flags[slot] &= ~(FlowFlag.WORKING | FlowFlag.PROVISIONAL) & 0xFF
+        self.table.flow_flags[slot] &= (
+            ~(FlowFlag.WORK_PENDING | FlowFlag.PROVISIONAL) & 0xFF
+        )
         self.table.strike_times[slot] = now
 
     def forget(self, slot: int, reason: str, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -45,7 +45,7 @@
     reset or probe with any other number is not taken by the caller.
     """
 
-    WORKING = 1
+    WORK_PENDING = 1
     PROVISIONAL = 2
     CALLER_FIN = 4
     SERVER_FIN = 8
