Rename PROVISIONAL to WORK_PROVISIONAL

The flag says that the server slot is held before any caller bytes.

Rename: libs/flows/src/kumquatmux_flows/table.py PROVISIONAL WORK_PROVISIONAL

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -46,7 +46,7 @@
 SLOW_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
 WORKING = int(FlowFlag.WORK_PENDING)
 CONFIRMED = int(FlowFlag.CONFIRMED)
-PROVISIONAL = int(FlowFlag.PROVISIONAL)
+PROVISIONAL = int(FlowFlag.WORK_PROVISIONAL)
 LEARNED = int(Role.LEARNED)
 OWNER = int(Role.OWNER)
 ESTABLISHED = int(FlowStatus.ESTABLISHED)
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -116,7 +116,7 @@
         slot = self.new_record(event.key, server, pending)
         state.say_slot("flow-placed", slot, "placement")
         state.start_work(slot)
-        state.table.flow_flags[slot] |= FlowFlag.PROVISIONAL
+        state.table.flow_flags[slot] |= FlowFlag.WORK_PROVISIONAL
         until = now + state.settings.opening_grace_seconds
         state.graces.append(Grace(until, event.key, pending.epoch))
         return pending.segments
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -171,7 +171,7 @@
         if key is None or not self.table.flow_flags[slot] & FlowFlag.WORK_PENDING:
             return
         self.table.flow_flags[slot] &= (
-            ~(FlowFlag.WORK_PENDING | FlowFlag.PROVISIONAL) & 0xFF
+            ~(FlowFlag.WORK_PENDING | FlowFlag.WORK_PROVISIONAL) & 0xFF
         )
         self.out.append(WorkAnswered(key, self.address_of(slot)))
 
@@ -198,7 +198,7 @@
         if self.table.statuses[slot] != FlowStatus.CLOSED:
             self.out.append(FlowClosed(key, self.address_of(slot)))
         self.table.flow_flags[slot] &= (
-            ~(FlowFlag.WORK_PENDING | FlowFlag.PROVISIONAL) & 0xFF
+            ~(FlowFlag.WORK_PENDING | FlowFlag.WORK_PROVISIONAL) & 0xFF
         )
         self.table.set_role(slot, role)
         self.say_slot("flow-handed-over", slot, reason)
@@ -213,7 +213,7 @@
             self.say_slot("flow-closed", slot, reason)
         self.table.statuses[slot] = FlowStatus.CLOSED
         self.table.flow_flags[slot] &= (
-            ~(FlowFlag.WORK_PENDING | FlowFlag.PROVISIONAL) & 0xFF
+            ~(FlowFlag.WORK_PENDING | FlowFlag.WORK_PROVISIONAL) & 0xFF
         )
         self.table.strike_times[slot] = now
 
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -199,7 +199,7 @@
             slot = table.slots.get(grace.key)
             if slot is None or table.epochs[slot] != grace.epoch:
                 continue
-            if table.flow_flags[slot] & FlowFlag.PROVISIONAL:
+            if table.flow_flags[slot] & FlowFlag.WORK_PROVISIONAL:
                 state.answer_work(slot)
 
     def tell_quiet(self, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -46,7 +46,7 @@
     """
 
     WORK_PENDING = 1
-    PROVISIONAL = 2
+    WORK_PROVISIONAL = 2
     CALLER_FIN = 4
     SERVER_FIN = 8
     CONFIRMED = 16
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -43,7 +43,7 @@
         table = self.state.table
         end = next_seq(segment)
         seen = table.flow_flags[slot] & FlowFlag.CALLER_SEEN
-        table.flow_flags[slot] &= ~FlowFlag.PROVISIONAL & 0xFF
+        table.flow_flags[slot] &= ~FlowFlag.WORK_PROVISIONAL & 0xFF
         if segment.is_tcp and seen and not seq_after(end, table.caller_nexts[slot]):
             self.silence.retransmitted(slot, segment, now)
             return
