--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -250,7 +250,7 @@
         if table.roles[slot] != Role.OWNER:
             return
         table.copies[slot] = state.ranking.number(vm)
-        table.flow_flags[slot] |= FlowFlag.CONFIRMED
+        table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
         place = state.routes.places[table.services[slot]]
         if state.ranking.rank(place)[:1] == [vm]:
             state.yield_role(slot, Role.COPY, "owner-moved")
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -29,7 +29,7 @@
             return True
         if (
             table.copies[slot] != backup
-            or not table.flow_flags[slot] & FlowFlag.CONFIRMED
+            or not table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
         ):
             return False
         age = now - table.copy_times[slot]
@@ -63,8 +63,8 @@
         backup = self.backup_number(slot)
         if table.copies[slot] != backup:
             table.copies[slot] = backup
-            table.flow_flags[slot] &= ~FlowFlag.CONFIRMED & 0xFF
-        if not table.flow_flags[slot] & FlowFlag.CONFIRMED:
+            table.flow_flags[slot] &= ~FlowFlag.BACKUP_CONFIRMED & 0xFF
+        if not table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             table.copy_seqs[slot] = seq
         table.copy_times[slot] = now
 
@@ -72,9 +72,9 @@
         """Note that a reply proves that the backup forwarded a packet."""
         table = self.state.table
         marks = table.flow_flags[slot]
-        if marks & FlowFlag.CONFIRMED or table.copies[slot] == NO_VM:
+        if marks & FlowFlag.BACKUP_CONFIRMED or table.copies[slot] == NO_VM:
             return
         if table.statuses[slot] == FlowStatus.DATAGRAMS:
-            table.flow_flags[slot] |= FlowFlag.CONFIRMED
+            table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
         elif seq_at_or_after(ack, table.copy_seqs[slot]):
-            table.flow_flags[slot] |= FlowFlag.CONFIRMED
+            table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -45,7 +45,7 @@
 
 SLOW_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
 WORKING = int(FlowFlag.WORK_PENDING)
-CONFIRMED = int(FlowFlag.CONFIRMED)
+CONFIRMED = int(FlowFlag.BACKUP_CONFIRMED)
 PROVISIONAL = int(FlowFlag.WORK_PROVISIONAL)
 LEARNED = int(Role.LEARNED)
 OWNER = int(Role.OWNER)
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -170,7 +170,7 @@
         state = self.state
         held = state.table.copies[slot] == state.ranking.number(owner)
         owned = state.table.roles[slot] == Role.OWNER
-        if owned and held and state.table.flow_flags[slot] & FlowFlag.CONFIRMED:
+        if owned and held and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             state.yield_role(slot, Role.COPY, "owner-moved")
             return
         self.batches.collect(slot, owner, now)
@@ -186,7 +186,7 @@
             return
         held = table.copies[slot] == state.ranking.number(backup)
         fresh = now - table.copy_times[slot] < self.idle_limit(slot) / 2
-        if held and fresh and table.flow_flags[slot] & FlowFlag.CONFIRMED:
+        if held and fresh and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             return
         self.batches.collect(slot, backup, now)
 
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -49,7 +49,7 @@
     WORK_PROVISIONAL = 2
     CALLER_FIN = 4
     SERVER_FIN = 8
-    CONFIRMED = 16
+    BACKUP_CONFIRMED = 16
     PLACED = 32
     SERVER_SEEN = 64
     CALLER_SEEN = 128
