Rename PLACED to PLACED_HERE

The flag says that this VM placed the flow.

Rename: libs/flows/src/kumquatmux_flows/table.py PLACED PLACED_HERE

--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -30,7 +30,7 @@
             return False
         if seen:
             return self.is_far(slot, segment, NEAR_BYTES)
-        return bool(table.flow_flags[slot] & FlowFlag.PLACED)
+        return bool(table.flow_flags[slot] & FlowFlag.PLACED_HERE)
 
     def is_far(self, slot: int, segment: Segment, limit: int) -> bool:
         """Return whether an acknowledgement does not fit what a server has sent."""
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -93,7 +93,7 @@
         slot = table.add(key, Role.OWNER, server, pending.service)
         table.epochs[slot] = pending.epoch
         table.revisions[slot] = max(state.routes.revision, 0)
-        table.flow_flags[slot] = FlowFlag.PLACED
+        table.flow_flags[slot] = FlowFlag.PLACED_HERE
         if not pending.segments[0].is_tcp:
             table.statuses[slot] = FlowStatus.DATAGRAMS
         return slot
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -50,7 +50,7 @@
     CALLER_FIN = 4
     SERVER_FIN = 8
     BACKUP_CONFIRMED = 16
-    PLACED = 32
+    PLACED_HERE = 32
     SERVER_SEEN = 64
     CALLER_SEEN = 128
 
