--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -214,7 +214,7 @@
         table.server_nexts[slot] = record.caller_ack
         table.caller_times[slot] = now - record.idle
         if record.caller_ack:
-            table.flow_flags[slot] |= FlowFlag.SERVER_SEEN
+            table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
         return slot
 
     def refresh(self, slot: int, record: FlowRecord, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -87,7 +87,7 @@
         table = self.state.table
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
-        seen = table.flow_flags[slot] & FlowFlag.SERVER_SEEN
+        seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         return bool(seen) and table.roles[slot] == Role.OWNER
 
     def replace(self, slot: int, segment: Segment, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -232,7 +232,7 @@
         Without any answer of the server seen here, that is given up after two searches,
         but not while a cut may hide the other record.
         """
-        seen = self.state.table.flow_flags[slot] & FlowFlag.SERVER_SEEN
+        seen = self.state.table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         return bool(seen) or self.unsettled(now) or not self.missed_twice(segment, now)
 
     def confirmed_by_search(self, slot: int, segment: Segment, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -21,7 +21,7 @@
         table = self.state.table
         if segment.flags & (FLAG_SYN | FLAG_RST) or not segment.flags & FLAG_ACK:
             return False
-        seen = table.flow_flags[slot] & FlowFlag.SERVER_SEEN
+        seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         if table.statuses[slot] == FlowStatus.ESTABLISHED:
             current = seen and table.roles[slot] == Role.OWNER
             known = table.server_nexts[slot] != 0
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -176,7 +176,7 @@
         if (
             doubted
             and half_open
-            and not state.table.flow_flags[slot] & FlowFlag.SERVER_SEEN
+            and not state.table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         ):
             return None
         return state.binding(slot)
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -121,10 +121,10 @@
         """Move the next sequence number of the server forward."""
         table = self.state.table
         end = next_seq(segment)
-        seen = table.flow_flags[slot] & FlowFlag.SERVER_SEEN
+        seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         if not seen or seq_after(end, table.server_nexts[slot]):
             table.server_nexts[slot] = end
-            table.flow_flags[slot] |= FlowFlag.SERVER_SEEN
+            table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
 
     def own(self, segment: Segment, server: Address, now: float) -> None:
         """Handle a reply as the owner of its flow."""
@@ -162,7 +162,7 @@
         state = self.state
         table = state.table
         table.reply_times[slot] = now
-        if not table.flow_flags[slot] & FlowFlag.SERVER_SEEN and segment.is_tcp:
+        if not table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN and segment.is_tcp:
             self.advance(slot, segment)
         if segment.flags & FLAG_ACK:
             self.silence.answered(slot, segment.ack, now)
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -193,7 +193,7 @@
         caller_ack = table.server_nexts[slot]
         seq = (server_ack or table.caller_nexts[slot]) - 1 & SEQUENCE_MASK
         state.out.append(ProbeServer(key, state.address_of(slot), seq, caller_ack))
-        if server_ack and table.flow_flags[slot] & FlowFlag.SERVER_SEEN:
+        if server_ack and table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN:
             seq = caller_ack - 1 & SEQUENCE_MASK
             state.out.append(ProbeCaller(key, seq, server_ack))
 
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -183,7 +183,7 @@
         self.table.set_role(slot, Role.OWNER)
         kept = FlowFlag.CALLER_FIN | FlowFlag.SERVER_FIN
         if self.table.statuses[slot] == FlowStatus.HALF_OPEN:
-            kept |= FlowFlag.SERVER_SEEN
+            kept |= FlowFlag.SERVER_NEXT_KNOWN
         self.table.flow_flags[slot] &= kept
         self.table.strikes[slot] = 0
         if self.table.statuses[slot] != FlowStatus.CLOSED:
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -51,7 +51,7 @@
     SERVER_FIN = 8
     BACKUP_CONFIRMED = 16
     PLACED_HERE = 32
-    SERVER_SEEN = 64
+    SERVER_NEXT_KNOWN = 64
     CALLER_SEEN = 128
 
 
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -33,10 +33,10 @@
     def track_ack(self, slot: int, segment: Segment) -> None:
         """Learn from an acknowledgement what the server has sent."""
         table = self.state.table
-        seen = table.flow_flags[slot] & FlowFlag.SERVER_SEEN
+        seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         if not seen or seq_after(segment.ack, table.server_nexts[slot]):
             table.server_nexts[slot] = segment.ack
-            table.flow_flags[slot] |= FlowFlag.SERVER_SEEN
+            table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
 
     def track_payload(self, slot: int, segment: Segment, now: float) -> None:
         """Count new bytes as work and old ones as a sign of silence."""
