Rename CALLER_SEEN to CALLER_NEXT_KNOWN

The flag says that caller_nexts holds a number seen in a packet.

Rename: libs/flows/src/kumquatmux_flows/table.py CALLER_SEEN CALLER_NEXT_KNOWN

--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -52,7 +52,7 @@
     BACKUP_CONFIRMED = 16
     PLACED_HERE = 32
     SERVER_NEXT_KNOWN = 64
-    CALLER_SEEN = 128
+    CALLER_NEXT_KNOWN = 128
 
 
 class FlowTable:
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -28,7 +28,7 @@
             self.track_payload(slot, segment, now)
         elif seq_after(next_seq(segment), table.caller_nexts[slot]) or segment.opens:
             table.caller_nexts[slot] = next_seq(segment)
-            table.flow_flags[slot] |= FlowFlag.CALLER_SEEN
+            table.flow_flags[slot] |= FlowFlag.CALLER_NEXT_KNOWN
 
     def track_ack(self, slot: int, segment: Segment) -> None:
         """Learn from an acknowledgement what the server has sent."""
@@ -42,13 +42,13 @@
         """Count new bytes as work and old ones as a sign of silence."""
         table = self.state.table
         end = next_seq(segment)
-        seen = table.flow_flags[slot] & FlowFlag.CALLER_SEEN
+        seen = table.flow_flags[slot] & FlowFlag.CALLER_NEXT_KNOWN
         table.flow_flags[slot] &= ~FlowFlag.WORK_PROVISIONAL & 0xFF
         if segment.is_tcp and seen and not seq_after(end, table.caller_nexts[slot]):
             self.silence.retransmitted(slot, segment, now)
             return
         table.caller_nexts[slot] = end
-        table.flow_flags[slot] |= FlowFlag.CALLER_SEEN
+        table.flow_flags[slot] |= FlowFlag.CALLER_NEXT_KNOWN
         self.state.start_work(slot)
 
     def track_end(self, slot: int, segment: Segment, now: float) -> None:
