Rename DATAGRAMS to UDP_ACTIVE

The status of an active UDP flow.

Rename: libs/flows/src/kumquatmux_flows/table.py DATAGRAMS UDP_ACTIVE

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -183,7 +183,7 @@
         state = self.state
         key = state.table.keys[slot]
         was_owner = state.table.roles[slot] == Role.OWNER
-        is_tcp = state.table.statuses[slot] != FlowStatus.DATAGRAMS
+        is_tcp = state.table.statuses[slot] != FlowStatus.UDP_ACTIVE
         if key is not None and was_owner and is_tcp and state.permits(slot):
             seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.address_of(slot), seq))
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -128,7 +128,7 @@
         table.caller_times[slot] = now
         table.copy_times[slot] = now
         if not segment.is_tcp:
-            table.statuses[slot] = FlowStatus.DATAGRAMS
+            table.statuses[slot] = FlowStatus.UDP_ACTIVE
         elif binding.established:
             table.statuses[slot] = FlowStatus.ESTABLISHED
         if role == Role.OWNER:
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -74,7 +74,7 @@
         marks = table.flow_flags[slot]
         if marks & FlowFlag.BACKUP_CONFIRMED or table.copies[slot] == NO_VM:
             return
-        if table.statuses[slot] == FlowStatus.DATAGRAMS:
+        if table.statuses[slot] == FlowStatus.UDP_ACTIVE:
             table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
         elif seq_at_or_after(ack, table.copy_seqs[slot]):
             table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -126,7 +126,7 @@
                 table.statuses[slot] = FlowStatus.HALF_OPEN
             table.caller_isns[slot] = segment.seq
         elif not segment.is_tcp:
-            table.statuses[slot] = FlowStatus.DATAGRAMS
+            table.statuses[slot] = FlowStatus.UDP_ACTIVE
         elif table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = FlowStatus.ESTABLISHED
 
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -95,7 +95,7 @@
         table.revisions[slot] = max(state.routes.revision, 0)
         table.flow_flags[slot] = FlowFlag.PLACED_HERE
         if not pending.segments[0].is_tcp:
-            table.statuses[slot] = FlowStatus.DATAGRAMS
+            table.statuses[slot] = FlowStatus.UDP_ACTIVE
         return slot
 
     def bind(self, event: FlowPlaced, now: float) -> list[Segment]:
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -82,7 +82,7 @@
         slot = state.table.add(segment.key, Role.LEARNED, number, service)
         state.learned_order.append(segment.key)
         if not segment.is_tcp:
-            state.table.statuses[slot] = FlowStatus.DATAGRAMS
+            state.table.statuses[slot] = FlowStatus.UDP_ACTIVE
         self.note_reply(slot, segment, now)
 
     def make_room(self) -> None:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -134,7 +134,7 @@
         limit = settings.half_open_seconds
         if status == FlowStatus.CLOSING:
             limit = settings.closing_seconds
-        elif status == FlowStatus.DATAGRAMS:
+        elif status == FlowStatus.UDP_ACTIVE:
             limit = settings.datagram_seconds
         if self.state.table.roles[slot] == Role.COPY:
             limit += settings.copy_refresh_seconds
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -32,7 +32,7 @@
     CLOSING = 1
     CLOSED = 2
     ESTABLISHED = 3
-    DATAGRAMS = 4
+    UDP_ACTIVE = 4
 
 
 class FlowFlag(IntEnum):
