--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -207,7 +207,7 @@
         place = place_of(record.key)
         service = state.routes.service(record.service, place)
         server = state.routes.server(record.server, record.service)
-        slot = table.add(record.key, Role.COPY, server, service)
+        slot = table.add(record.key, Role.BACKUP, server, service)
         table.statuses[slot] = record.status
         table.server_acks[slot] = record.server_ack
         table.caller_nexts[slot] = record.server_ack
@@ -253,4 +253,4 @@
         table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
         place = state.routes.places[table.services[slot]]
         if state.ranking.rank(place)[:1] == [vm]:
-            state.yield_role(slot, Role.COPY, "owner-moved")
+            state.yield_role(slot, Role.BACKUP, "owner-moved")
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -122,7 +122,7 @@
         table = state.table
         name = state.routes.names[service]
         server = state.routes.server(binding.server, name)
-        slot = table.add(segment.key, Role.COPY, server, service)
+        slot = table.add(segment.key, Role.BACKUP, server, service)
         table.epochs[slot] = binding.epoch
         table.revisions[slot] = binding.revision
         table.caller_times[slot] = now
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -88,7 +88,7 @@
             self.state.drop(Refusal.FLOW_UNKNOWN)
             return
         segment = packet.segment
-        slot = self.callers.bindings.take_binding(binding, segment, Role.COPY, now)
+        slot = self.callers.bindings.take_binding(binding, segment, Role.BACKUP, now)
         if slot is None:
             self.state.drop(Refusal.SERVICE_UNKNOWN)
         elif not self.state.permits(slot):
@@ -104,7 +104,7 @@
         table = state.table
         segment = packet.segment
         if packet.sender == state.ranking.owner(segment.key):
-            state.yield_role(slot, Role.COPY, "owner-moved")
+            state.yield_role(slot, Role.BACKUP, "owner-moved")
         self.follow(slot, segment, now)
         state.to_server(slot, segment)
         if segment.flags & FLAG_RST:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -232,7 +232,7 @@
         latest = max(table.caller_times[slot], table.reply_times[slot])
         if self.is_probed(slot):
             latest = table.caller_times[slot]
-        if table.roles[slot] == Role.COPY:
+        if table.roles[slot] == Role.BACKUP:
             latest = max(latest, table.copy_times[slot])
         return now - latest
 
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -136,7 +136,7 @@
             limit = settings.closing_seconds
         elif status == FlowStatus.UDP_ACTIVE:
             limit = settings.datagram_seconds
-        if self.state.table.roles[slot] == Role.COPY:
+        if self.state.table.roles[slot] == Role.BACKUP:
             limit += settings.copy_refresh_seconds
         return limit
 
@@ -152,7 +152,7 @@
             if table.roles[slot] == Role.OWNER or self.is_orphan(slot, place, now):
                 self.hand_over(slot, owner[0], now)
             return
-        if table.roles[slot] == Role.COPY:
+        if table.roles[slot] == Role.BACKUP:
             state.adopt(slot, "owner-gone")
         self.repair(slot, now)
         self.silence.offer_witness(slot, key, now)
@@ -171,7 +171,7 @@
         held = state.table.copies[slot] == state.ranking.number(owner)
         owned = state.table.roles[slot] == Role.OWNER
         if owned and held and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
-            state.yield_role(slot, Role.COPY, "owner-moved")
+            state.yield_role(slot, Role.BACKUP, "owner-moved")
             return
         self.batches.collect(slot, owner, now)
 
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -21,7 +21,7 @@
 
     FREE = 0
     LEARNED = 1
-    COPY = 2
+    BACKUP = 2
     OWNER = 3
 
 
@@ -100,7 +100,7 @@
     @property
     def retained_count(self) -> int:
         """Records held as owner or second copy."""
-        return self.role_counts[Role.OWNER] + self.role_counts[Role.COPY]
+        return self.role_counts[Role.OWNER] + self.role_counts[Role.BACKUP]
 
     def add(self, key: FlowKey, role: Role, server: int, service: int) -> int:
         """Return the slot of a new record for a key that has none."""
