--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -28,7 +28,7 @@
         if backup == NO_VM:
             return True
         if (
-            table.copies[slot] != backup
+            table.backup_vms[slot] != backup
             or not table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
         ):
             return False
@@ -61,8 +61,8 @@
         """Remember that the backup was sent the record with a packet."""
         table = self.state.table
         backup = self.backup_number(slot)
-        if table.copies[slot] != backup:
-            table.copies[slot] = backup
+        if table.backup_vms[slot] != backup:
+            table.backup_vms[slot] = backup
             table.flow_flags[slot] &= ~FlowFlag.BACKUP_CONFIRMED & 0xFF
         if not table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             table.copy_seqs[slot] = seq
@@ -72,7 +72,7 @@
         """Note that a reply proves that the backup forwarded a packet."""
         table = self.state.table
         marks = table.flow_flags[slot]
-        if marks & FlowFlag.BACKUP_CONFIRMED or table.copies[slot] == NO_VM:
+        if marks & FlowFlag.BACKUP_CONFIRMED or table.backup_vms[slot] == NO_VM:
             return
         if table.statuses[slot] == FlowStatus.UDP_ACTIVE:
             table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -224,7 +224,7 @@
         marks = table.flow_flags[slot]
         backup = self.backups[service][routes.zones[server]]
         if backup != NO_VM:
-            if table.copies[slot] != backup or not marks & CONFIRMED:
+            if table.backup_vms[slot] != backup or not marks & CONFIRMED:
                 return None
             if now - table.copy_times[slot] > self.settings.copy_refresh_seconds:
                 return None
@@ -299,7 +299,7 @@
         """Count a reply at the owner; return False if the slow path has to see it."""
         table = self.state.table
         marks = table.flow_flags[slot]
-        if not marks & CONFIRMED and table.copies[slot] != NO_VM:
+        if not marks & CONFIRMED and table.backup_vms[slot] != NO_VM:
             return False
         told = ack == table.server_acks[slot] and not self.silence.asked
         if not told or marks & WORKING or table.strikes[slot]:
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -85,7 +85,7 @@
         self.flow_flags = view[2::ROW_BYTES]
         self.strikes = view[3::ROW_BYTES]
         self.services = short[2 :: ROW_BYTES // 2]
-        self.copies = short[3 :: ROW_BYTES // 2]
+        self.backup_vms = short[3 :: ROW_BYTES // 2]
         self.servers = wide[2 :: ROW_BYTES // 4]
         self.revisions = wide[3 :: ROW_BYTES // 4]
         self.caller_isns = wide[4 :: ROW_BYTES // 4]
@@ -121,7 +121,7 @@
         self.statuses[slot] = FlowStatus.HALF_OPEN
         self.flow_flags[slot] = 0
         self.strikes[slot] = 0
-        self.copies[slot] = NO_VM
+        self.backup_vms[slot] = NO_VM
         self.epochs[slot] = 0
         self.revisions[slot] = 0
         self.caller_isns[slot] = 0
