--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -65,7 +65,7 @@
             table.backup_vms[slot] = backup
             table.flow_flags[slot] &= ~FlowFlag.BACKUP_CONFIRMED & 0xFF
         if not table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
-            table.copy_seqs[slot] = seq
+            table.backup_seqs[slot] = seq
         table.copy_times[slot] = now
 
     def confirm_copy(self, slot: int, ack: int) -> None:
@@ -76,5 +76,5 @@
             return
         if table.statuses[slot] == FlowStatus.UDP_ACTIVE:
             table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
-        elif seq_at_or_after(ack, table.copy_seqs[slot]):
+        elif seq_at_or_after(ack, table.backup_seqs[slot]):
             table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
