--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -222,7 +222,7 @@
         table = self.state.table
         table.epochs[slot] = max(table.epochs[slot], record.epoch)
         table.revisions[slot] = max(table.revisions[slot], record.revision)
-        table.copy_times[slot] = now
+        table.backup_times[slot] = now
         if table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = record.status
         place = self.state.routes.places[table.services[slot]]
@@ -246,7 +246,7 @@
         """Note that a VM keeps one record."""
         state = self.state
         table = state.table
-        table.copy_times[slot] = now
+        table.backup_times[slot] = now
         if table.roles[slot] != Role.OWNER:
             return
         table.backup_vms[slot] = state.ranking.number(vm)
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -126,7 +126,7 @@
         table.epochs[slot] = binding.epoch
         table.revisions[slot] = binding.revision
         table.caller_times[slot] = now
-        table.copy_times[slot] = now
+        table.backup_times[slot] = now
         if not segment.is_tcp:
             table.statuses[slot] = FlowStatus.UDP_ACTIVE
         elif binding.established:
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -32,7 +32,7 @@
             or not table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
         ):
             return False
-        age = now - table.copy_times[slot]
+        age = now - table.backup_times[slot]
         return age < self.state.settings.copy_refresh_seconds
 
     def backup_of(self, slot: int) -> VmId | None:
@@ -66,7 +66,7 @@
             table.flow_flags[slot] &= ~FlowFlag.BACKUP_CONFIRMED & 0xFF
         if not table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             table.backup_seqs[slot] = seq
-        table.copy_times[slot] = now
+        table.backup_times[slot] = now
 
     def confirm_copy(self, slot: int, ack: int) -> None:
         """Note that a reply proves that the backup forwarded a packet."""
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -226,7 +226,7 @@
         if backup != NO_VM:
             if table.backup_vms[slot] != backup or not marks & CONFIRMED:
                 return None
-            if now - table.copy_times[slot] > self.settings.copy_refresh_seconds:
+            if now - table.backup_times[slot] > self.settings.copy_refresh_seconds:
                 return None
         if payload_length:
             if not self.count_payload(slot, flags, seq, payload_length, marks):
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -117,7 +117,7 @@
         """Note what a stored packet shows of its flow."""
         table = self.state.table
         table.caller_times[slot] = now
-        table.copy_times[slot] = now
+        table.backup_times[slot] = now
         if segment.flags & FLAG_ACK:
             table.server_nexts[slot] = segment.ack
         if segment.opens:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -233,7 +233,7 @@
         if self.is_probed(slot):
             latest = table.caller_times[slot]
         if table.roles[slot] == Role.BACKUP:
-            latest = max(latest, table.copy_times[slot])
+            latest = max(latest, table.backup_times[slot])
         return now - latest
 
     def is_probed(self, slot: int) -> bool:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -163,7 +163,7 @@
         changed = self.state.ranking.owner_changes.get(place)
         if changed is None or now - changed < self.state.settings.settle_seconds:
             return False
-        return self.state.table.copy_times[slot] < changed
+        return self.state.table.backup_times[slot] < changed
 
     def hand_over(self, slot: int, owner: VmId, now: float) -> None:
         """Give a record to the VM that owns it now."""
@@ -185,7 +185,7 @@
         if self.state.idle(slot, now) < SILENT_BEFORE_REPAIR_SECONDS:
             return
         held = table.backup_vms[slot] == state.ranking.number(backup)
-        fresh = now - table.copy_times[slot] < self.idle_limit(slot) / 2
+        fresh = now - table.backup_times[slot] < self.idle_limit(slot) / 2
         if held and fresh and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             return
         self.batches.collect(slot, backup, now)
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -93,7 +93,7 @@
         self.server_nexts = wide[6 :: ROW_BYTES // 4]
         self.server_acks = wide[7 :: ROW_BYTES // 4]
         self.backup_seqs = wide[8 :: ROW_BYTES // 4]
-        self.copy_times = times[5 :: ROW_BYTES // 8]
+        self.backup_times = times[5 :: ROW_BYTES // 8]
         self.caller_times = times[6 :: ROW_BYTES // 8]
         self.reply_times = times[7 :: ROW_BYTES // 8]
 
@@ -129,7 +129,7 @@
         self.server_nexts[slot] = 0
         self.server_acks[slot] = 0
         self.backup_seqs[slot] = 0
-        self.copy_times[slot] = 0.0
+        self.backup_times[slot] = 0.0
         self.caller_times[slot] = 0.0
         self.reply_times[slot] = 0.0
         self.strike_times[slot] = 0.0
