Rename SLOW_FLAGS to SLOW_PATH_FLAGS

These TCP flags send a packet to the slow path.

Rename: libs/flows/src/kumquatmux_flows/engine.py SLOW_FLAGS SLOW_PATH_FLAGS

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -43,7 +43,7 @@
     Role,
 )
 
-SLOW_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
+SLOW_PATH_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
 WORKING = int(FlowFlag.WORK_PENDING)
 CONFIRMED = int(FlowFlag.BACKUP_CONFIRMED)
 PROVISIONAL = int(FlowFlag.WORK_PROVISIONAL)
@@ -199,7 +199,7 @@
         state = self.state
         table = state.table
         slot = table.slots.get(key)  # type: ignore[call-overload]
-        if slot is None or flags & SLOW_FLAGS:
+        if slot is None or flags & SLOW_PATH_FLAGS:
             return None
         if table.statuses[slot] < ESTABLISHED:
             return None
@@ -272,7 +272,7 @@
         state = self.state
         table = state.table
         slot = table.slots.get(key)  # type: ignore[call-overload]
-        if slot is None or flags & SLOW_FLAGS:
+        if slot is None or flags & SLOW_PATH_FLAGS:
             return False
         if table.statuses[slot] < ESTABLISHED:
             return False
