Rename WORKING to WORK_PENDING

It follows the name of the flag.

Rename: libs/flows/src/kumquatmux_flows/engine.py WORKING WORK_PENDING

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -44,7 +44,7 @@
 )
 
 SLOW_PATH_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
-WORKING = int(FlowFlag.WORK_PENDING)
+WORK_PENDING = int(FlowFlag.WORK_PENDING)
 CONFIRMED = int(FlowFlag.BACKUP_CONFIRMED)
 PROVISIONAL = int(FlowFlag.WORK_PROVISIONAL)
 LEARNED = int(Role.LEARNED)
@@ -252,7 +252,7 @@
             if not 0 < progress < SEQUENCE_HALF:
                 return False
         table.caller_nexts[slot] = end
-        if not marks & WORKING:
+        if not marks & WORK_PENDING:
             self.state.start_work(slot)
         elif marks & PROVISIONAL:
             table.flow_flags[slot] = marks & ~PROVISIONAL
@@ -302,8 +302,8 @@
         if not marks & CONFIRMED and table.backup_vms[slot] != NO_VM:
             return False
         told = ack == table.server_acks[slot] and not self.silence.asked
-        if not told or marks & WORKING or table.strikes[slot]:
+        if not told or marks & WORK_PENDING or table.strikes[slot]:
             self.silence.answered(slot, ack, now)
-        if payload_length and marks & WORKING:
+        if payload_length and marks & WORK_PENDING:
             self.state.answer_work(slot)
         return True
