--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -45,7 +45,7 @@
 
 SLOW_PATH_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
 WORK_PENDING = int(FlowFlag.WORK_PENDING)
-CONFIRMED = int(FlowFlag.BACKUP_CONFIRMED)
+BACKUP_CONFIRMED = int(FlowFlag.BACKUP_CONFIRMED)
 PROVISIONAL = int(FlowFlag.WORK_PROVISIONAL)
 LEARNED = int(Role.LEARNED)
 OWNER = int(Role.OWNER)
@@ -224,7 +224,7 @@
         marks = table.flow_flags[slot]
         backup = self.backups[service][routes.zones[server]]
         if backup != NO_VM:
-            if table.backup_vms[slot] != backup or not marks & CONFIRMED:
+            if table.backup_vms[slot] != backup or not marks & BACKUP_CONFIRMED:
                 return None
             if now - table.backup_times[slot] > self.settings.copy_refresh_seconds:
                 return None
@@ -299,7 +299,7 @@
         """Count a reply at the owner; return False if the slow path has to see it."""
         table = self.state.table
         marks = table.flow_flags[slot]
-        if not marks & CONFIRMED and table.backup_vms[slot] != NO_VM:
+        if not marks & BACKUP_CONFIRMED and table.backup_vms[slot] != NO_VM:
             return False
         told = ack == table.server_acks[slot] and not self.silence.asked
         if not told or marks & WORK_PENDING or table.strikes[slot]:
