Rename PROVISIONAL to WORK_PROVISIONAL

It follows the name of the flag.

Rename: libs/flows/src/kumquatmux_flows/engine.py PROVISIONAL WORK_PROVISIONAL

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -46,7 +46,7 @@
 SLOW_PATH_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
 WORK_PENDING = int(FlowFlag.WORK_PENDING)
 BACKUP_CONFIRMED = int(FlowFlag.BACKUP_CONFIRMED)
-PROVISIONAL = int(FlowFlag.WORK_PROVISIONAL)
+WORK_PROVISIONAL = int(FlowFlag.WORK_PROVISIONAL)
 LEARNED = int(Role.LEARNED)
 OWNER = int(Role.OWNER)
 ESTABLISHED = int(FlowStatus.ESTABLISHED)
@@ -254,8 +254,8 @@
         table.caller_nexts[slot] = end
         if not marks & WORK_PENDING:
             self.state.start_work(slot)
-        elif marks & PROVISIONAL:
-            table.flow_flags[slot] = marks & ~PROVISIONAL
+        elif marks & WORK_PROVISIONAL:
+            table.flow_flags[slot] = marks & ~WORK_PROVISIONAL
         return True
 
     def route_reply(
