--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -26,7 +26,7 @@
     Tick,
     ViewChanged,
 )
-from kumquatmux_flows.evidence import NEAR_BYTES
+from kumquatmux_flows.evidence import NARROW_ACK_WINDOW_BYTES
 from kumquatmux_flows.messages import BatchStored, RecordBatch
 from kumquatmux_flows.peers import PeerPath
 from kumquatmux_flows.replies import ReplyPath
@@ -214,8 +214,10 @@
                 return None
             if now - table.reply_times[slot] > self.settings.learned_fresh_seconds:
                 return None
-            distance = (ack - table.server_nexts[slot] + NEAR_BYTES) & SEQUENCE_MASK
-            if distance > 2 * NEAR_BYTES:
+            distance = (
+                ack - table.server_nexts[slot] + NARROW_ACK_WINDOW_BYTES
+            ) & SEQUENCE_MASK
+            if distance > 2 * NARROW_ACK_WINDOW_BYTES:
                 return None
             state.last_packet = now
             return routes.addresses[server]
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -6,7 +6,7 @@
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import SEQUENCE_MASK, FlowFlag, FlowStatus, Role
 
-NEAR_BYTES = 1 << 20
+NARROW_ACK_WINDOW_BYTES = 1 << 20
 WIDE_BYTES = 1 << 28
 
 
@@ -29,7 +29,7 @@
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
         if seen:
-            return self.is_far(slot, segment, NEAR_BYTES)
+            return self.is_far(slot, segment, NARROW_ACK_WINDOW_BYTES)
         return bool(table.flow_flags[slot] & FlowFlag.PLACED_HERE)
 
     def is_far(self, slot: int, segment: Segment, limit: int) -> bool:
@@ -48,4 +48,6 @@
         if not segment.flags & FLAG_ACK:
             return False
         opening = table.statuses[slot] == FlowStatus.HALF_OPEN
-        return not self.is_far(slot, segment, NEAR_BYTES if opening else WIDE_BYTES)
+        return not self.is_far(
+            slot, segment, NARROW_ACK_WINDOW_BYTES if opening else WIDE_BYTES
+        )
