--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -7,7 +7,7 @@
 from kumquatmux_flows.table import SEQUENCE_MASK, FlowFlag, FlowStatus, Role
 
 NARROW_ACK_WINDOW_BYTES = 1 << 20
-WIDE_BYTES = 1 << 28
+WIDE_ACK_WINDOW_BYTES = 1 << 28
 
 
 class Evidence:
@@ -25,7 +25,11 @@
         if table.statuses[slot] == FlowStatus.ESTABLISHED:
             current = seen and table.roles[slot] == Role.OWNER
             known = table.server_nexts[slot] != 0
-            return known and not current and self.is_far(slot, segment, WIDE_BYTES)
+            return (
+                known
+                and not current
+                and self.is_far(slot, segment, WIDE_ACK_WINDOW_BYTES)
+            )
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
         if seen:
@@ -49,5 +53,5 @@
             return False
         opening = table.statuses[slot] == FlowStatus.HALF_OPEN
         return not self.is_far(
-            slot, segment, NARROW_ACK_WINDOW_BYTES if opening else WIDE_BYTES
+            slot, segment, NARROW_ACK_WINDOW_BYTES if opening else WIDE_ACK_WINDOW_BYTES
         )
