Rename contradicts to indicates_other_server

It tells whether a packet belongs to a handshake with another server.

Rename: libs/flows/src/kumquatmux_flows/evidence.py contradicts indicates_other_server

--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -67,7 +67,9 @@
     def is_better(self, binding: Binding, slot: int, segment: Segment) -> bool:
         """Return whether a binding wins over the record here."""
         table = self.state.table
-        if not self.state.permits(slot) or self.evidence.contradicts(slot, segment):
+        if not self.state.permits(slot) or self.evidence.indicates_other_server(
+            slot, segment
+        ):
             return True
         if table.statuses[slot] == FlowStatus.CLOSED:
             return True
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -78,7 +78,7 @@
             self.give_up(slot, segment, now)
         elif state.table.statuses[slot] == FlowStatus.CLOSED:
             self.closed_flow(slot, segment, now)
-        elif self.evidence.contradicts(slot, segment):
+        elif self.evidence.indicates_other_server(slot, segment):
             self.look_up(segment, now)
         else:
             self.forward(slot, segment, now)
@@ -219,7 +219,9 @@
     def after_search(self, slot: int, segment: Segment, now: float) -> None:
         """Go on with this VM's record after a search found no better one."""
         status = self.state.table.statuses[slot]
-        if not self.evidence.contradicts(slot, segment) or not self.state.permits(slot):
+        if not self.evidence.indicates_other_server(
+            slot, segment
+        ) or not self.state.permits(slot):
             self.with_record(slot, segment, now)
         elif status == FlowStatus.HALF_OPEN and self.is_doubtful(slot, segment, now):
             self.state.drop(Refusal.CONFLICT)
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -16,7 +16,7 @@
     def __init__(self, state: FlowState) -> None:
         self.state = state
 
-    def contradicts(self, slot: int, segment: Segment) -> bool:
+    def indicates_other_server(self, slot: int, segment: Segment) -> bool:
         """Return whether a packet shows that its handshake was with another server."""
         table = self.state.table
         if segment.flags & (FLAG_SYN | FLAG_RST) or not segment.flags & FLAG_ACK:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -170,7 +170,7 @@
         if state.table.roles[slot] == Role.LEARNED:
             fits = self.callers.evidence.matches(slot, segment, now)
             return state.binding(slot)._replace(epoch=0) if fits else None
-        if self.callers.evidence.contradicts(slot, segment):
+        if self.callers.evidence.indicates_other_server(slot, segment):
             return None
         half_open = state.table.statuses[slot] == FlowStatus.HALF_OPEN
         if (
