Rename is_far to ack_outside_window

It checks an acknowledgement number against a window.

Rename: libs/flows/src/kumquatmux_flows/evidence.py is_far ack_outside_window

--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -28,15 +28,15 @@
             return (
                 known
                 and not current
-                and self.is_far(slot, segment, WIDE_ACK_WINDOW_BYTES)
+                and self.ack_outside_window(slot, segment, WIDE_ACK_WINDOW_BYTES)
             )
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
         if seen:
-            return self.is_far(slot, segment, NARROW_ACK_WINDOW_BYTES)
+            return self.ack_outside_window(slot, segment, NARROW_ACK_WINDOW_BYTES)
         return bool(table.flow_flags[slot] & FlowFlag.PLACED_HERE)
 
-    def is_far(self, slot: int, segment: Segment, limit: int) -> bool:
+    def ack_outside_window(self, slot: int, segment: Segment, limit: int) -> bool:
         """Return whether an acknowledgement does not fit what a server has sent."""
         distance = (segment.ack - self.state.table.server_nexts[slot]) & SEQUENCE_MASK
         return min(distance, SEQUENCE_MASK - distance) > limit
@@ -52,6 +52,6 @@
         if not segment.flags & FLAG_ACK:
             return False
         opening = table.statuses[slot] == FlowStatus.HALF_OPEN
-        return not self.is_far(
+        return not self.ack_outside_window(
             slot, segment, NARROW_ACK_WINDOW_BYTES if opening else WIDE_ACK_WINDOW_BYTES
         )
