Rename matches to fits_learned_record

It checks a packet against a learned record.

Rename: libs/flows/src/kumquatmux_flows/evidence.py matches fits_learned_record

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -175,7 +175,7 @@
         slot = state.table.slots.get(segment.key)
         if slot is not None and state.table.roles[slot] != Role.LEARNED:
             self.after_search(slot, segment, now)
-        elif slot is not None and self.evidence.matches(slot, segment, now):
+        elif slot is not None and self.evidence.fits_learned_record(slot, segment, now):
             state.adopt(slot, "learned-from-replies")
             self.with_record(slot, segment, now)
         elif self.starts_flow(segment):
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -41,7 +41,7 @@
         distance = (segment.ack - self.state.table.server_nexts[slot]) & SEQUENCE_MASK
         return min(distance, SEQUENCE_MASK - distance) > limit
 
-    def matches(self, slot: int, segment: Segment, now: float) -> bool:
+    def fits_learned_record(self, slot: int, segment: Segment, now: float) -> bool:
         """Return whether a packet fits a record only learned from replies."""
         table = self.state.table
         if not self.state.permits(slot) or segment.opens:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -168,7 +168,7 @@
         if state.table.statuses[slot] == FlowStatus.CLOSED:
             return None
         if state.table.roles[slot] == Role.LEARNED:
-            fits = self.callers.evidence.matches(slot, segment, now)
+            fits = self.callers.evidence.fits_learned_record(slot, segment, now)
             return state.binding(slot)._replace(epoch=0) if fits else None
         if self.callers.evidence.indicates_other_server(slot, segment):
             return None
