--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -5,7 +5,7 @@
 from kumquatmux_core.segments import Segment
 from kumquatmux_flows.copies import Copies
 from kumquatmux_flows.events import Binding, ResetServer, SendMessage
-from kumquatmux_flows.evidence import Evidence
+from kumquatmux_flows.evidence import AckValidator
 from kumquatmux_flows.messages import LostRecord
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.state import FlowState
@@ -19,7 +19,9 @@
     same on every VM.
     """
 
-    def __init__(self, state: FlowState, copies: Copies, evidence: Evidence) -> None:
+    def __init__(
+        self, state: FlowState, copies: Copies, evidence: AckValidator
+    ) -> None:
         self.state = state
         self.copies = copies
         self.evidence = evidence
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -14,7 +14,7 @@
     SendToPeer,
     Stage,
 )
-from kumquatmux_flows.evidence import Evidence
+from kumquatmux_flows.evidence import AckValidator
 from kumquatmux_flows.placing import Placing
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.routes import place_of
@@ -32,7 +32,7 @@
     def __init__(self, state: FlowState, silence: Silence) -> None:
         self.state = state
         self.copies = Copies(state)
-        self.evidence = Evidence(state)
+        self.evidence = AckValidator(state)
         self.bindings = Bindings(state, self.copies, self.evidence)
         self.placing = Placing(state)
         self.tracking = Tracking(state, silence)
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -10,7 +10,7 @@
 WIDE_ACK_WINDOW_BYTES = 1 << 28
 
 
-class Evidence:
+class AckValidator:
     """Compares acknowledgements with what a server is known to have sent."""
 
     def __init__(self, state: FlowState) -> None:
