--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -32,8 +32,8 @@
     def __init__(self, state: FlowState, silence: Silence) -> None:
         self.state = state
         self.copies = Copies(state)
-        self.evidence = AckValidator(state)
-        self.bindings = Bindings(state, self.copies, self.evidence)
+        self.ack_validator = AckValidator(state)
+        self.bindings = Bindings(state, self.copies, self.ack_validator)
         self.placing = Placing(state)
         self.tracking = Tracking(state, silence)
 
@@ -78,7 +78,7 @@
             self.give_up(slot, segment, now)
         elif state.table.statuses[slot] == FlowStatus.CLOSED:
             self.closed_flow(slot, segment, now)
-        elif self.evidence.indicates_other_server(slot, segment):
+        elif self.ack_validator.indicates_other_server(slot, segment):
             self.look_up(segment, now)
         else:
             self.forward(slot, segment, now)
@@ -175,7 +175,9 @@
         slot = state.table.slots.get(segment.key)
         if slot is not None and state.table.roles[slot] != Role.LEARNED:
             self.after_search(slot, segment, now)
-        elif slot is not None and self.evidence.fits_learned_record(slot, segment, now):
+        elif slot is not None and self.ack_validator.fits_learned_record(
+            slot, segment, now
+        ):
             state.adopt(slot, "learned-from-replies")
             self.with_record(slot, segment, now)
         elif self.starts_flow(segment):
@@ -219,7 +221,7 @@
     def after_search(self, slot: int, segment: Segment, now: float) -> None:
         """Go on with this VM's record after a search found no better one."""
         status = self.state.table.statuses[slot]
-        if not self.evidence.indicates_other_server(
+        if not self.ack_validator.indicates_other_server(
             slot, segment
         ) or not self.state.permits(slot):
             self.with_record(slot, segment, now)
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -168,9 +168,9 @@
         if state.table.statuses[slot] == FlowStatus.CLOSED:
             return None
         if state.table.roles[slot] == Role.LEARNED:
-            fits = self.callers.evidence.fits_learned_record(slot, segment, now)
+            fits = self.callers.ack_validator.fits_learned_record(slot, segment, now)
             return state.binding(slot)._replace(epoch=0) if fits else None
-        if self.callers.evidence.indicates_other_server(slot, segment):
+        if self.callers.ack_validator.indicates_other_server(slot, segment):
             return None
         half_open = state.table.statuses[slot] == FlowStatus.HALF_OPEN
         if (
