Rename evidence to ack_validator

It follows the name of the class.

Rename: libs/flows/src/kumquatmux_flows/bindings.py evidence ack_validator

--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -24,7 +24,7 @@
     ) -> None:
         self.state = state
         self.copies = copies
-        self.evidence = evidence
+        self.ack_validator = evidence
 
     def take_binding(
         self, binding: Binding, segment: Segment, role: Role, now: float
@@ -69,7 +69,7 @@
     def is_better(self, binding: Binding, slot: int, segment: Segment) -> bool:
         """Return whether a binding wins over the record here."""
         table = self.state.table
-        if not self.state.permits(slot) or self.evidence.indicates_other_server(
+        if not self.state.permits(slot) or self.ack_validator.indicates_other_server(
             slot, segment
         ):
             return True
