Rename evidence to ack_validator

It follows the name of the class.

Rename: libs/flows/src/kumquatmux_flows/bindings.py evidence ack_validator

--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -20,11 +20,11 @@
     """
 
     def __init__(
-        self, state: FlowState, copies: Copies, evidence: AckValidator
+        self, state: FlowState, copies: Copies, ack_validator: AckValidator
     ) -> None:
         self.state = state
         self.copies = copies
-        self.ack_validator = evidence
+        self.ack_validator = ack_validator
 
     def take_binding(
         self, binding: Binding, segment: Segment, role: Role, now: float
