--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -127,7 +127,9 @@
         self.tracking.track(slot, segment, now)
         if table.statuses[slot] == FlowStatus.CLOSED:
             return
-        if segment.flags & LIFECYCLE_FLAGS or not self.copies.copy_ready(slot, now):
+        if segment.flags & LIFECYCLE_FLAGS or not self.copies.backup_is_current(
+            slot, now
+        ):
             self.copies.by_backup(slot, segment, now)
         else:
             state.to_server(slot, segment)
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -21,7 +21,7 @@
     def __init__(self, state: FlowState) -> None:
         self.state = state
 
-    def copy_ready(self, slot: int, now: float) -> bool:
+    def backup_is_current(self, slot: int, now: float) -> bool:
         """Return whether the second copy is in place and recent."""
         table = self.state.table
         backup = self.backup_number(slot)
