--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -24,7 +24,7 @@
     def backup_is_current(self, slot: int, now: float) -> bool:
         """Return whether the second copy is in place and recent."""
         table = self.state.table
-        backup = self.backup_number(slot)
+        backup = self.backup_vm_number(slot)
         if backup == NO_VM:
             return True
         if (
@@ -42,7 +42,7 @@
         zone = routes.zones[self.state.table.servers[slot]]
         return self.state.ranking.backup(place, zone)
 
-    def backup_number(self, slot: int) -> int:
+    def backup_vm_number(self, slot: int) -> int:
         """Return the small number of the VM that should hold the second copy."""
         return self.state.ranking.number(self.backup_of(slot))
 
@@ -60,7 +60,7 @@
     def note_copy(self, slot: int, seq: int, now: float) -> None:
         """Remember that the backup was sent the record with a packet."""
         table = self.state.table
-        backup = self.backup_number(slot)
+        backup = self.backup_vm_number(slot)
         if table.backup_vms[slot] != backup:
             table.backup_vms[slot] = backup
             table.flow_flags[slot] &= ~FlowFlag.BACKUP_CONFIRMED & 0xFF
