--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -109,7 +109,7 @@
         """Tell the holder of the second copy that the record has lost."""
         state = self.state
         key = state.table.keys[slot]
-        holder = self.copies.backup_of(slot)
+        holder = self.copies.backup_vm_of(slot)
         if key is None or holder is None:
             return
         lost = LostRecord(key, state.address_of(slot))
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -35,7 +35,7 @@
         age = now - table.backup_times[slot]
         return age < self.state.settings.copy_refresh_seconds
 
-    def backup_of(self, slot: int) -> VmId | None:
+    def backup_vm_of(self, slot: int) -> VmId | None:
         """Return the VM that should hold the second copy."""
         routes = self.state.routes
         place = routes.places[self.state.table.services[slot]]
@@ -44,12 +44,12 @@
 
     def backup_vm_number(self, slot: int) -> int:
         """Return the small number of the VM that should hold the second copy."""
-        return self.state.ranking.number(self.backup_of(slot))
+        return self.state.ranking.number(self.backup_vm_of(slot))
 
     def by_backup(self, slot: int, segment: Segment, now: float) -> None:
         """Pass a packet and its record to the backup, which forwards it."""
         state = self.state
-        backup = self.backup_of(slot)
+        backup = self.backup_vm_of(slot)
         if backup is None:
             state.to_server(slot, segment)
             return
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -183,7 +183,7 @@
         else:
             state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
             self.callers.tracking.closing(slot, now)
-        backup = self.callers.copies.backup_of(slot)
+        backup = self.callers.copies.backup_vm_of(slot)
         if backup is None:
             self.to_caller(segment)
             return
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -179,7 +179,7 @@
         """Give the backup a record that no packet has brought to it."""
         state = self.state
         table = state.table
-        backup = self.callers.copies.backup_of(slot)
+        backup = self.callers.copies.backup_vm_of(slot)
         if backup is None:
             return
         if self.state.idle(slot, now) < SILENT_BEFORE_REPAIR_SECONDS:
