Rename note_copy to record_backup_sent

It records that the backup was sent the record.

Rename: libs/flows/src/kumquatmux_flows/copies.py note_copy record_backup_sent

--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -53,11 +53,11 @@
         if backup is None:
             state.to_server(slot, segment)
             return
-        self.note_copy(slot, next_seq(segment), now)
+        self.record_backup_sent(slot, next_seq(segment), now)
         passing = Passing(Stage.STORE, 0, state.binding(slot))
         state.out.append(SendToPeer(backup, passing, segment.packet))
 
-    def note_copy(self, slot: int, seq: int, now: float) -> None:
+    def record_backup_sent(self, slot: int, seq: int, now: float) -> None:
         """Remember that the backup was sent the record with a packet."""
         table = self.state.table
         backup = self.backup_vm_number(slot)
