Rename confirm_copy to confirm_backup

It marks the backup copy as confirmed.

Rename: libs/flows/src/kumquatmux_flows/copies.py confirm_copy confirm_backup

--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -68,7 +68,7 @@
             table.backup_seqs[slot] = seq
         table.backup_times[slot] = now
 
-    def confirm_copy(self, slot: int, ack: int) -> None:
+    def confirm_backup(self, slot: int, ack: int) -> None:
         """Note that a reply proves that the backup forwarded a packet."""
         table = self.state.table
         marks = table.flow_flags[slot]
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -167,7 +167,7 @@
         if segment.flags & FLAG_ACK:
             self.silence.answered(slot, segment.ack, now)
         if segment.flags & FLAG_ACK or not segment.is_tcp:
-            self.callers.copies.confirm_copy(slot, segment.ack)
+            self.callers.copies.confirm_backup(slot, segment.ack)
         if segment.payload_length:
             state.answer_work(slot)
         if segment.flags & ENDING_FLAGS:
