--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -48,7 +48,7 @@
     def without_record(self, segment: Segment, now: float) -> None:
         """Handle a packet whose flow this owner does not know."""
         if segment.key in self.state.pending:
-            self.placing.while_pending(segment)
+            self.placing.handle_pending_packet(segment)
         elif self.starts_flow(segment) and not self.may_be_elsewhere(segment, now):
             self.placing.ask_placement(segment, epoch=1)
         else:
@@ -259,7 +259,7 @@
         """Place a flow that nobody knows, unless its record may have been lost."""
         state = self.state
         if segment.key in state.pending:
-            self.placing.while_pending(segment)
+            self.placing.handle_pending_packet(segment)
             return
         window = state.settings.datagram_seconds
         lost = state.ranking.lost_lately(window, now)
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -23,7 +23,7 @@
     def __init__(self, state: FlowState) -> None:
         self.state = state
 
-    def while_pending(self, segment: Segment) -> None:
+    def handle_pending_packet(self, segment: Segment) -> None:
         """Handle a further packet of a flow that waits for placement."""
         state = self.state
         pending = state.pending[segment.key]
