--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -50,7 +50,7 @@
         if segment.key in self.state.pending:
             self.placing.handle_pending_packet(segment)
         elif self.starts_flow(segment) and not self.may_be_elsewhere(segment, now):
-            self.placing.ask_placement(segment, epoch=1)
+            self.placing.request_placement(segment, epoch=1)
         else:
             self.look_up(segment, now)
 
@@ -108,7 +108,7 @@
         epoch = state.table.epochs[slot] + 1
         state.table.remove(slot)
         if starts:
-            self.placing.ask_placement(segment, epoch)
+            self.placing.request_placement(segment, epoch)
         else:
             self.look_up(segment, now)
 
@@ -266,4 +266,4 @@
         if not segment.is_tcp and (lost or suspect):
             state.refuse(segment, Refusal.RECORD_MAYBE_LOST)
             return
-        self.placing.ask_placement(segment, epoch=1)
+        self.placing.request_placement(segment, epoch=1)
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -38,7 +38,7 @@
         else:
             state.drop(Refusal.HELD_FULL)
 
-    def ask_placement(self, segment: Segment, epoch: int) -> None:
+    def request_placement(self, segment: Segment, epoch: int) -> None:
         """Hold the first packet of a flow and ask for a server."""
         state = self.state
         service = state.service_of(segment.key)
