Rename misplaced to retry_placement

It retries or refuses a placement.

Rename: libs/flows/src/kumquatmux_flows/placing.py misplaced retry_placement

--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -60,7 +60,7 @@
             return
         state.refuse(segment, Refusal.SERVICE_UNKNOWN)
 
-    def misplaced(self, event: FlowPlaced, pending: Pending) -> None:
+    def retry_placement(self, event: FlowPlaced, pending: Pending) -> None:
         """Ask again when the chosen server may not get the flow; nothing was sent."""
         state = self.state
         name = state.routes.names[pending.service]
@@ -111,7 +111,7 @@
             return []
         server = state.routes.server(event.server, state.routes.names[pending.service])
         if not state.routes.permits_new(server, pending.service):
-            self.misplaced(event, pending)
+            self.retry_placement(event, pending)
             return []
         slot = self.new_record(event.key, server, pending)
         state.say_slot("flow-placed", slot, "placement")
