Rename new_record to add_placed_record

It adds the record of a flow placed here.

Rename: libs/flows/src/kumquatmux_flows/placing.py new_record add_placed_record

--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -83,7 +83,7 @@
             self.state.out.append(ResetCaller(segment, event.reason))
         self.state.say("flow-refused", event.key, "none", event.reason)
 
-    def new_record(self, key: FlowKey, server: int, pending: Pending) -> int:
+    def add_placed_record(self, key: FlowKey, server: int, pending: Pending) -> int:
         """Return the slot of a flow that this VM placed."""
         state = self.state
         table = state.table
@@ -113,7 +113,7 @@
         if not state.routes.permits_new(server, pending.service):
             self.retry_placement(event, pending)
             return []
-        slot = self.new_record(event.key, server, pending)
+        slot = self.add_placed_record(event.key, server, pending)
         state.say_slot("flow-placed", slot, "placement")
         state.start_work(slot)
         state.table.flow_flags[slot] |= FlowFlag.WORK_PROVISIONAL
