--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -68,7 +68,7 @@
 
     def placed(self, event: FlowPlaced, now: float) -> None:
         """Forward what was held of a flow that has a server now."""
-        for segment in self.placing.bind(event, now):
+        for segment in self.placing.bind_flow(event, now):
             self.with_record(self.state.table.slots[event.key], segment, now)
 
     def with_record(self, slot: int, segment: Segment, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -98,7 +98,7 @@
             table.statuses[slot] = FlowStatus.UDP_ACTIVE
         return slot
 
-    def bind(self, event: FlowPlaced, now: float) -> list[Segment]:
+    def bind_flow(self, event: FlowPlaced, now: float) -> list[Segment]:
         """Bind a flow to the server placement chose.
 
         Returns:
