--- a/libs/flows/src/kumquatmux_flows/refusals.py
+++ b/libs/flows/src/kumquatmux_flows/refusals.py
@@ -20,7 +20,7 @@
     QUARANTINED = "quarantined"
     DUPLICATE = "duplicate-first-packet"
     HELD_FULL = "held-full"
-    CROSSED = "reply-crossed"
+    REPLY_CROSSED = "reply-crossed"
     SERVICE_CROSSED = "service-crossed"
     SILENT = "silent"
     IDLE = "idle"
--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -204,7 +204,7 @@
     open_flow(made, key)
     reply = segment(key, seq=500, ack=100, length=9)
     crossed = made.handle(ServerPacket(reply, SECOND), SETTLED)
-    assert crossed == [Dropped(Refusal.CROSSED)]
+    assert crossed == [Dropped(Refusal.REPLY_CROSSED)]
     assert made.handle(ServerPacket(reply, SERVER), SETTLED)[-1] == SendToCaller(
         SERVICE, b"packet"
     )
