--- a/libs/flows/src/kumquatmux_flows/refusals.py
+++ b/libs/flows/src/kumquatmux_flows/refusals.py
@@ -26,4 +26,4 @@
     IDLE = "idle"
     CONFLICT = "conflict"
     HOPS = "hops"
-    ALONE = "no-owner"
+    NO_OWNER = "no-owner"
