Rename UNSETTLED to VIEW_UNSETTLED

It matches the reason code. Made with rename.py; every use follows, behaviour is unchanged.

Rename: libs/flows/src/kumquatmux_flows/refusals.py UNSETTLED VIEW_UNSETTLED

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -187,7 +187,7 @@
         elif segment.flags & FLAG_RST:
             state.drop(Refusal.FLOW_UNKNOWN)
         elif self.unsettled(now) or not self.missed_twice(segment, now):
-            state.drop(Refusal.UNSETTLED)
+            state.drop(Refusal.VIEW_UNSETTLED)
         else:
             state.refuse(segment, Refusal.FLOW_UNKNOWN)
 
--- a/libs/flows/src/kumquatmux_flows/refusals.py
+++ b/libs/flows/src/kumquatmux_flows/refusals.py
@@ -16,7 +16,7 @@
     OWNER_MOVED = "owner-moved"
     FLOW_UNKNOWN = "flow-unknown"
     RECORD_MAYBE_LOST = "record-maybe-lost"
-    UNSETTLED = "view-unsettled"
+    VIEW_UNSETTLED = "view-unsettled"
     QUARANTINED = "quarantined"
     DUPLICATE = "duplicate-first-packet"
     HELD_FULL = "held-full"
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -143,7 +143,7 @@
     outcomes = [
         send(made, key, SETTLED + after, seq=5, ack=6) for after in (0.0, 1.0, 3.5)
     ]
-    assert outcomes[:2] == [[Dropped(Refusal.UNSETTLED)]] * 2
+    assert outcomes[:2] == [[Dropped(Refusal.VIEW_UNSETTLED)]] * 2
     assert isinstance(outcomes[2][0], ResetCaller)
 
 
