Rename DUPLICATE to DUPLICATE_FIRST_PACKET

It matches the reason code.

Rename: libs/flows/src/kumquatmux_flows/refusals.py DUPLICATE DUPLICATE_FIRST_PACKET

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -142,7 +142,7 @@
         segment = packet.segment
         origin = packet.passing.origin
         if segment.key in state.pending:
-            state.drop(Refusal.DUPLICATE)
+            state.drop(Refusal.DUPLICATE_FIRST_PACKET)
             return
         doubted = packet.passing.binding is not None
         binding = self.found(segment, now, doubted=doubted)
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -32,7 +32,7 @@
             state.out.append(CancelPlacement(segment.key))
             state.say("flow-cancelled", segment.key, "none", "reset-by-caller")
         elif segment.is_tcp:
-            state.drop(Refusal.DUPLICATE)
+            state.drop(Refusal.DUPLICATE_FIRST_PACKET)
         elif len(pending.segments) < state.settings.held_datagrams:
             pending.segments.append(segment)
         else:
--- a/libs/flows/src/kumquatmux_flows/refusals.py
+++ b/libs/flows/src/kumquatmux_flows/refusals.py
@@ -18,7 +18,7 @@
     RECORD_MAYBE_LOST = "record-maybe-lost"
     VIEW_UNSETTLED = "view-unsettled"
     QUARANTINED = "quarantined"
-    DUPLICATE = "duplicate-first-packet"
+    DUPLICATE_FIRST_PACKET = "duplicate-first-packet"
     HELD_FULL = "held-full"
     REPLY_CROSSED = "reply-crossed"
     SERVICE_CROSSED = "service-crossed"
--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -101,7 +101,7 @@
     key = key_of(1)
     syn = CallerPacket(segment(key, FLAG_SYN, seq=99))
     assert made.handle(syn, SETTLED) == [AskPlacement(key, ENTRIES)]
-    assert made.handle(syn, SETTLED) == [Dropped(Refusal.DUPLICATE)]
+    assert made.handle(syn, SETTLED) == [Dropped(Refusal.DUPLICATE_FIRST_PACKET)]
     assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [
         WorkStarted(key, SERVER),
         SendToServer(SERVER, b"packet"),
