Rename HOPS to HOP_LIMIT

The packet reached the hop limit.

Rename: libs/flows/src/kumquatmux_flows/refusals.py HOPS HOP_LIMIT

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -62,7 +62,7 @@
         if named or self.holds(packet.segment):
             self.callers.take(packet.segment, now)
             return
-        self.state.drop(Refusal.HOPS)
+        self.state.drop(Refusal.HOP_LIMIT)
 
     def note_moved(self, segment: Segment) -> None:
         """Ask for a fresh view: a peer took this VM for an owner it is not."""
--- a/libs/flows/src/kumquatmux_flows/refusals.py
+++ b/libs/flows/src/kumquatmux_flows/refusals.py
@@ -25,5 +25,5 @@
     SILENT = "silent"
     IDLE = "idle"
     CONFLICT = "conflict"
-    HOPS = "hops"
+    HOP_LIMIT = "hops"
     NO_OWNER = "no-owner"
