--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -15,7 +15,7 @@
     RecordBatch,
 )
 from kumquatmux_flows.refusals import Refusal
-from kumquatmux_flows.routes import place_of
+from kumquatmux_flows.routes import service_key_of
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import WAS_RESET, FlowFlag, FlowStatus, Role
@@ -204,7 +204,7 @@
         """Return the slot of a record that was not here."""
         state = self.state
         table = state.table
-        place = place_of(record.key)
+        place = service_key_of(record.key)
         service = state.routes.service(record.service, place)
         server = state.routes.server(record.server, record.service)
         slot = table.add(record.key, Role.BACKUP, server, service)
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -17,7 +17,7 @@
 from kumquatmux_flows.evidence import AckValidator
 from kumquatmux_flows.placing import Placing
 from kumquatmux_flows.refusals import Refusal
-from kumquatmux_flows.routes import place_of
+from kumquatmux_flows.routes import service_key_of
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import WAS_RESET, FlowFlag, FlowStatus, Role
@@ -157,7 +157,7 @@
         state = self.state
         if hops >= state.settings.lookup_hops:
             return None
-        others = state.ranking.search_order(place_of(key), origin)
+        others = state.ranking.search_order(service_key_of(key), origin)
         for vm in others[hops:]:
             if vm != state.vm:
                 return vm
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -5,7 +5,7 @@
 from kumquatmux_core import rendezvous
 from kumquatmux_core.identity import FlowKey, VmId, ZoneName
 from kumquatmux_flows.events import ViewChanged
-from kumquatmux_flows.routes import place_of
+from kumquatmux_flows.routes import service_key_of
 from kumquatmux_flows.table import NO_VM
 
 NO_ZONE = ZoneName("")
@@ -69,7 +69,7 @@
 
     def owner(self, key: FlowKey) -> VmId | None:
         """Return the owner of a flow, None if no VM is live."""
-        ranked = self.rank(place_of(key))
+        ranked = self.rank(service_key_of(key))
         return ranked[0] if ranked else None
 
     def owns(self, place: bytes) -> bool:
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -8,7 +8,7 @@
 UNKNOWN_REVISION = -1
 
 
-def place_of(key: FlowKey) -> bytes:
+def service_key_of(key: FlowKey) -> bytes:
     """Return the service side of a flow key: protocol, IP and port, 7 bytes."""
     return key[0:1] + key[5:9] + key[11:13]
 
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -29,7 +29,7 @@
 )
 from kumquatmux_flows.ranking import Ranking
 from kumquatmux_flows.refusals import Refusal
-from kumquatmux_flows.routes import Routes, place_of
+from kumquatmux_flows.routes import Routes, service_key_of
 from kumquatmux_flows.settings import FlowSettings
 from kumquatmux_flows.table import FlowFlag, FlowStatus, FlowTable, Role
 
@@ -103,13 +103,13 @@
 
     def service_of(self, key: FlowKey) -> int | None:
         """Return the number of the service in force at a flow's service address."""
-        return self.routes.current.get(place_of(key))
+        return self.routes.current.get(service_key_of(key))
 
     def service_named(self, key: FlowKey, name: ServiceName) -> int | None:
         """Return the number of the service a binding names, in force or not."""
         if not name:
             return self.service_of(key)
-        return self.routes.service(name, place_of(key))
+        return self.routes.service(name, service_key_of(key))
 
     def name_of(self, slot: int) -> ServiceName:
         """Return the service name of a record."""
