--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -33,7 +33,7 @@
 
     def __init__(self) -> None:
         self.revision = UNKNOWN_REVISION
-        self.current: dict[bytes, int] = {}
+        self.current_services: dict[bytes, int] = {}
         self.names: list[ServiceName] = []
         self.places: list[bytes] = []
         self.addresses: list[Address] = []
@@ -47,10 +47,10 @@
     def change(self, changed: RoutesChanged) -> None:
         """Take the services and servers of a revision."""
         self.revision = changed.revision
-        self.current = {}
+        self.current_services = {}
         for route in changed.services:
             place = bytes((route.protocol,)) + route.address
-            self.current[place] = self.service(route.service, place)
+            self.current_services[place] = self.service(route.service, place)
         self.in_force = set()
         for server in changed.servers:
             number = self.server(server.server, server.service)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -103,7 +103,7 @@
 
     def service_of(self, key: FlowKey) -> int | None:
         """Return the number of the service in force at a flow's service address."""
-        return self.routes.current.get(service_key_of(key))
+        return self.routes.current_services.get(service_key_of(key))
 
     def service_named(self, key: FlowKey, name: ServiceName) -> int | None:
         """Return the number of the service a binding names, in force or not."""
