Rename names to service_names

It holds the name of each service number.

Rename: libs/flows/src/kumquatmux_flows/routes.py names service_names

--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -124,7 +124,7 @@
         if service is None:
             return None
         table = state.table
-        name = state.routes.names[service]
+        name = state.routes.service_names[service]
         server = state.routes.server(binding.server, name)
         slot = table.add(segment.key, Role.BACKUP, server, service)
         table.epochs[slot] = binding.epoch
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -206,7 +206,7 @@
         routes = state.routes
         server = table.servers[slot]
         service = table.services[slot]
-        if routes.announced[server] != routes.names[service]:
+        if routes.announced[server] != routes.service_names[service]:
             return None
         role = table.roles[slot]
         if role != OWNER:
@@ -283,7 +283,7 @@
         if routes.addresses[number] != server:
             return False
         service = table.services[slot]
-        if routes.announced[number] != routes.names[service]:
+        if routes.announced[number] != routes.service_names[service]:
             return False
         if table.roles[slot] != OWNER:
             if not payload_length or not flags or ack != table.server_acks[slot]:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -70,7 +70,7 @@
         service = state.service_of(segment.key)
         if service is None:
             return
-        state.refresh(Refusal.OWNER_MOVED, state.routes.names[service], None)
+        state.refresh(Refusal.OWNER_MOVED, state.routes.service_names[service], None)
 
     def owns(self, segment: Segment) -> bool:
         """Return whether this VM owns a packet's flow."""
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -50,7 +50,9 @@
             state.refuse(segment, Refusal.TABLE_FULL)
         else:
             state.pending[segment.key] = Pending([segment], service, epoch)
-            state.out.append(AskPlacement(segment.key, state.routes.names[service]))
+            state.out.append(
+                AskPlacement(segment.key, state.routes.service_names[service])
+            )
 
     def refuse_unknown_service(self, segment: Segment) -> None:
         """Refuse a packet for a service address that is not in force here."""
@@ -63,7 +65,7 @@
     def retry_placement(self, event: FlowPlaced, pending: Pending) -> None:
         """Ask again when the chosen server may not get the flow; nothing was sent."""
         state = self.state
-        name = state.routes.names[pending.service]
+        name = state.routes.service_names[pending.service]
         state.out.append(FlowClosed(event.key, event.server))
         state.refresh(Refusal.SERVER_GONE, name, event.server)
         if pending.attempts < state.settings.placement_attempts:
@@ -109,7 +111,9 @@
         if pending is None:
             state.out.append(FlowClosed(event.key, event.server))
             return []
-        server = state.routes.server(event.server, state.routes.names[pending.service])
+        server = state.routes.server(
+            event.server, state.routes.service_names[pending.service]
+        )
         if not state.routes.permits_new(server, pending.service):
             self.retry_placement(event, pending)
             return []
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -64,7 +64,7 @@
         number = routes.servers.get(server)
         if number is None:
             service = self.state.service_of(segment.key)
-            name = "" if service is None else routes.names[service]
+            name = "" if service is None else routes.service_names[service]
             number = routes.server(server, name)  # type: ignore[arg-type]
         return number
 
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         self.revision = UNKNOWN_REVISION
         self.current_services: dict[bytes, int] = {}
-        self.names: list[ServiceName] = []
+        self.service_names: list[ServiceName] = []
         self.places: list[bytes] = []
         self.addresses: list[Address] = []
         self.announced: list[ServiceName] = []
@@ -62,9 +62,9 @@
         """Return the number of a service at an address."""
         number = self.services.get((name, place))
         if number is None:
-            number = len(self.names)
+            number = len(self.service_names)
             self.services[name, place] = number
-            self.names.append(name)
+            self.service_names.append(name)
             self.places.append(place)
         return number
 
@@ -82,7 +82,7 @@
 
     def permits(self, server: int, service: int) -> bool:
         """Return whether a server may get packets of an open flow of a service."""
-        return self.announced[server] == self.names[service]
+        return self.announced[server] == self.service_names[service]
 
     def permits_new(self, server: int, service: int) -> bool:
         """Return whether a server may get a new flow of a service."""
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -113,7 +113,7 @@
 
     def name_of(self, slot: int) -> ServiceName:
         """Return the service name of a record."""
-        return self.routes.names[self.table.services[slot]]
+        return self.routes.service_names[self.table.services[slot]]
 
     def address_of(self, slot: int) -> Address:
         """Return the server address of a record."""
@@ -264,7 +264,7 @@
         """Log one decision."""
         if not service:
             number = self.service_of(key)
-            service = "unknown" if number is None else self.routes.names[number]
+            service = "unknown" if number is None else self.routes.service_names[number]
         decisions.log(
             event,
             flow=FlowName(key),
