Rename places to service_keys

It holds the service key of each service number.

Rename: libs/flows/src/kumquatmux_flows/routes.py places service_keys

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -225,7 +225,7 @@
         table.backup_times[slot] = now
         if table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = record.status
-        place = self.state.routes.places[table.services[slot]]
+        place = self.state.routes.service_keys[table.services[slot]]
         if self.state.ranking.owns(place):
             self.state.adopt(slot, "handed-over")
 
@@ -251,6 +251,6 @@
             return
         table.backup_vms[slot] = state.ranking.number(vm)
         table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
-        place = state.routes.places[table.services[slot]]
+        place = state.routes.service_keys[table.services[slot]]
         if state.ranking.rank(place)[:1] == [vm]:
             state.yield_role(slot, Role.BACKUP, "owner-moved")
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -38,7 +38,7 @@
     def backup_vm_of(self, slot: int) -> VmId | None:
         """Return the VM that should hold the second copy."""
         routes = self.state.routes
-        place = routes.places[self.state.table.services[slot]]
+        place = routes.service_keys[self.state.table.services[slot]]
         zone = routes.zones[self.state.table.servers[slot]]
         return self.state.ranking.backup(place, zone)
 
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -175,7 +175,7 @@
     def note_services(self) -> None:
         """Keep, for the fast path, who owns and who backs up each service number."""
         ranking = self.state.ranking
-        places = self.state.routes.places
+        places = self.state.routes.service_keys
         for place in places[len(self.owned) :]:
             self.owned.append(ranking.owns(place))
             self.backups.append(self.backups_of(place))
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -35,7 +35,7 @@
         self.revision = UNKNOWN_REVISION
         self.current_services: dict[bytes, int] = {}
         self.service_names: list[ServiceName] = []
-        self.places: list[bytes] = []
+        self.service_keys: list[bytes] = []
         self.addresses: list[Address] = []
         self.announced: list[ServiceName] = []
         self.zones: list[ZoneName] = []
@@ -65,7 +65,7 @@
             number = len(self.service_names)
             self.services[name, place] = number
             self.service_names.append(name)
-            self.places.append(place)
+            self.service_keys.append(place)
         return number
 
     def server(self, address: Address, assumed: ServiceName) -> int:
@@ -90,4 +90,4 @@
 
     def address_of(self, service: int) -> Address:
         """Return the address callers use for a service."""
-        return Address(self.places[service][1:])
+        return Address(self.service_keys[service][1:])
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -110,7 +110,7 @@
         its owner has it open.
         """
         state = self.state
-        place = state.routes.places[state.table.services[slot]]
+        place = state.routes.service_keys[state.table.services[slot]]
         return state.ranking.rank(place)[:1] == [state.vm]
 
     def strand(self, slot: int, key: FlowKey, now: float) -> None:
@@ -144,7 +144,7 @@
         """Put a record where it belongs by the view in force."""
         state = self.state
         table = state.table
-        place = state.routes.places[table.services[slot]]
+        place = state.routes.service_keys[table.services[slot]]
         owner = state.ranking.rank(place)[:1]
         if not owner:
             return
