Rename zones to server_zones

It holds the zone of each server number.

Rename: libs/flows/src/kumquatmux_flows/routes.py zones server_zones

--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -39,7 +39,7 @@
         """Return the VM that should hold the second copy."""
         routes = self.state.routes
         place = routes.service_keys[self.state.table.services[slot]]
-        zone = routes.zones[self.state.table.servers[slot]]
+        zone = routes.server_zones[self.state.table.servers[slot]]
         return self.state.ranking.backup(place, zone)
 
     def backup_vm_number(self, slot: int) -> int:
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -183,7 +183,7 @@
     def backups_of(self, place: bytes) -> dict[str, int]:
         """Return the number of the backup for each zone of servers."""
         ranking = self.state.ranking
-        zones = {ZoneName(""), *ranking.zones.values(), *self.state.routes.zones}
+        zones = {ZoneName(""), *ranking.zones.values(), *self.state.routes.server_zones}
         return {zone: ranking.number(ranking.backup(place, zone)) for zone in zones}
 
     def route_caller(
@@ -224,7 +224,7 @@
         if not self.owned[service]:
             return None
         marks = table.flow_flags[slot]
-        backup = self.backups[service][routes.zones[server]]
+        backup = self.backups[service][routes.server_zones[server]]
         if backup != NO_VM:
             if table.backup_vms[slot] != backup or not marks & BACKUP_CONFIRMED:
                 return None
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -38,7 +38,7 @@
         self.service_keys: list[bytes] = []
         self.addresses: list[Address] = []
         self.announced: list[ServiceName] = []
-        self.zones: list[ZoneName] = []
+        self.server_zones: list[ZoneName] = []
         self.in_force: set[int] = set()
         self.answered: list[float] = []
         self.services: dict[tuple[ServiceName, bytes], int] = {}
@@ -55,7 +55,7 @@
         for server in changed.servers:
             number = self.server(server.server, server.service)
             self.announced[number] = server.service
-            self.zones[number] = server.zone
+            self.server_zones[number] = server.zone
             self.in_force.add(number)
 
     def service(self, name: ServiceName, place: bytes) -> int:
@@ -76,7 +76,7 @@
             self.servers[address] = number
             self.addresses.append(address)
             self.announced.append(assumed)
-            self.zones.append(ZoneName(""))
+            self.server_zones.append(ZoneName(""))
             self.answered.append(0.0)
         return number
 
