--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -40,7 +40,7 @@
         self.announced: list[ServiceName] = []
         self.server_zones: list[ZoneName] = []
         self.in_force: set[int] = set()
-        self.answered: list[float] = []
+        self.answer_times: list[float] = []
         self.services: dict[tuple[ServiceName, bytes], int] = {}
         self.servers: dict[Address, int] = {}
 
@@ -77,7 +77,7 @@
             self.addresses.append(address)
             self.announced.append(assumed)
             self.server_zones.append(ZoneName(""))
-            self.answered.append(0.0)
+            self.answer_times.append(0.0)
         return number
 
     def permits(self, server: int, service: int) -> bool:
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -66,7 +66,7 @@
         table = self.state.table
         key = table.keys[slot]
         server = table.servers[slot]
-        self.state.routes.answered[server] = now
+        self.state.routes.answer_times[server] = now
         if key is not None:
             self.witnesses[server] = key
         self.asked.discard(server)
@@ -123,7 +123,7 @@
             table.strikes[slot] = 1
         elif now - latest < gap:
             return
-        elif state.routes.answered[table.servers[slot]] > latest:
+        elif state.routes.answer_times[table.servers[slot]] > latest:
             table.strikes[slot] = min(table.strikes[slot] + 1, WAS_RESET - 1)
         table.strike_times[slot] = now
         self.ask_witness(slot)
