--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -41,7 +41,7 @@
         self.server_zones: list[ZoneName] = []
         self.in_force: set[int] = set()
         self.answer_times: list[float] = []
-        self.services: dict[tuple[ServiceName, bytes], int] = {}
+        self.service_numbers: dict[tuple[ServiceName, bytes], int] = {}
         self.servers: dict[Address, int] = {}
 
     def change(self, changed: RoutesChanged) -> None:
@@ -60,10 +60,10 @@
 
     def service(self, name: ServiceName, place: bytes) -> int:
         """Return the number of a service at an address."""
-        number = self.services.get((name, place))
+        number = self.service_numbers.get((name, place))
         if number is None:
             number = len(self.service_names)
-            self.services[name, place] = number
+            self.service_numbers[name, place] = number
             self.service_names.append(name)
             self.service_keys.append(place)
         return number
