--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -61,7 +61,7 @@
     def number_of(self, segment: Segment, server: Address) -> int:
         """Return the number of the server a reply is from."""
         routes = self.state.routes
-        number = routes.servers.get(server)
+        number = routes.server_numbers.get(server)
         if number is None:
             service = self.state.service_of(segment.key)
             name = "" if service is None else routes.service_names[service]
@@ -145,7 +145,7 @@
         """Pass on a reply whose flow has no record here, and learn it."""
         state = self.state
         service = state.service_of(segment.key)
-        number = state.routes.servers[server]
+        number = state.routes.server_numbers[server]
         if service is None or not state.routes.permits(number, service):
             state.drop(Refusal.SERVICE_CROSSED)
             return
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -42,7 +42,7 @@
         self.in_force: set[int] = set()
         self.answer_times: list[float] = []
         self.service_numbers: dict[tuple[ServiceName, bytes], int] = {}
-        self.servers: dict[Address, int] = {}
+        self.server_numbers: dict[Address, int] = {}
 
     def change(self, changed: RoutesChanged) -> None:
         """Take the services and servers of a revision."""
@@ -70,10 +70,10 @@
 
     def server(self, address: Address, assumed: ServiceName) -> int:
         """Return the number of a server, with a service assumed if it is new."""
-        number = self.servers.get(address)
+        number = self.server_numbers.get(address)
         if number is None:
             number = len(self.addresses)
-            self.servers[address] = number
+            self.server_numbers[address] = number
             self.addresses.append(address)
             self.announced.append(assumed)
             self.server_zones.append(ZoneName(""))
