--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -205,7 +205,7 @@
         state = self.state
         table = state.table
         place = service_key_of(record.key)
-        service = state.routes.service(record.service, place)
+        service = state.routes.service_number(record.service, place)
         server = state.routes.server(record.server, record.service)
         slot = table.add(record.key, Role.BACKUP, server, service)
         table.statuses[slot] = record.status
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -50,7 +50,7 @@
         self.current_services = {}
         for route in changed.services:
             place = bytes((route.protocol,)) + route.address
-            self.current_services[place] = self.service(route.service, place)
+            self.current_services[place] = self.service_number(route.service, place)
         self.in_force = set()
         for server in changed.servers:
             number = self.server(server.server, server.service)
@@ -58,7 +58,7 @@
             self.server_zones[number] = server.zone
             self.in_force.add(number)
 
-    def service(self, name: ServiceName, place: bytes) -> int:
+    def service_number(self, name: ServiceName, place: bytes) -> int:
         """Return the number of a service at an address."""
         number = self.service_numbers.get((name, place))
         if number is None:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -109,7 +109,7 @@
         """Return the number of the service a binding names, in force or not."""
         if not name:
             return self.service_of(key)
-        return self.routes.service(name, service_key_of(key))
+        return self.routes.service_number(name, service_key_of(key))
 
     def name_of(self, slot: int) -> ServiceName:
         """Return the service name of a record."""
