--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -206,7 +206,7 @@
         table = state.table
         place = service_key_of(record.key)
         service = state.routes.service_number(record.service, place)
-        server = state.routes.server(record.server, record.service)
+        server = state.routes.server_number(record.server, record.service)
         slot = table.add(record.key, Role.BACKUP, server, service)
         table.statuses[slot] = record.status
         table.server_acks[slot] = record.server_ack
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -125,7 +125,7 @@
             return None
         table = state.table
         name = state.routes.service_names[service]
-        server = state.routes.server(binding.server, name)
+        server = state.routes.server_number(binding.server, name)
         slot = table.add(segment.key, Role.BACKUP, server, service)
         table.epochs[slot] = binding.epoch
         table.revisions[slot] = binding.revision
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -111,7 +111,7 @@
         if pending is None:
             state.out.append(FlowClosed(event.key, event.server))
             return []
-        server = state.routes.server(
+        server = state.routes.server_number(
             event.server, state.routes.service_names[pending.service]
         )
         if not state.routes.permits_new(server, pending.service):
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -53,7 +53,7 @@
             self.current_services[place] = self.service_number(route.service, place)
         self.in_force = set()
         for server in changed.servers:
-            number = self.server(server.server, server.service)
+            number = self.server_number(server.server, server.service)
             self.announced[number] = server.service
             self.server_zones[number] = server.zone
             self.in_force.add(number)
@@ -68,7 +68,7 @@
             self.service_keys.append(place)
         return number
 
-    def server(self, address: Address, assumed: ServiceName) -> int:
+    def server_number(self, address: Address, assumed: ServiceName) -> int:
         """Return the number of a server, with a service assumed if it is new."""
         number = self.server_numbers.get(address)
         if number is None:
