--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -114,7 +114,7 @@
         server = state.routes.server_number(
             event.server, state.routes.service_names[pending.service]
         )
-        if not state.routes.permits_new(server, pending.service):
+        if not state.routes.permits_new_flow(server, pending.service):
             self.retry_placement(event, pending)
             return []
         slot = self.add_placed_record(event.key, server, pending)
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -84,7 +84,7 @@
         """Return whether a server may get packets of an open flow of a service."""
         return self.announced[server] == self.service_names[service]
 
-    def permits_new(self, server: int, service: int) -> bool:
+    def permits_new_flow(self, server: int, service: int) -> bool:
         """Return whether a server may get a new flow of a service."""
         return server in self.in_force and self.permits(server, service)
 
