Rename address_of to service_address

It returns the address of a service.

Rename: libs/flows/src/kumquatmux_flows/routes.py address_of service_address

--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -88,6 +88,6 @@
         """Return whether a server may get a new flow of a service."""
         return server in self.in_force and self.permits(server, service)
 
-    def address_of(self, service: int) -> Address:
+    def service_address(self, service: int) -> Address:
         """Return the address callers use for a service."""
         return Address(self.service_keys[service][1:])
