--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -22,7 +22,7 @@
 
     def __init__(self, vm: VmId) -> None:
         self.vm = vm
-        self.live: tuple[VmId, ...] = (vm,)
+        self.live_vms: tuple[VmId, ...] = (vm,)
         self.changed = float("-inf")
         self.losses: list[float] = []
         self.ranks: dict[bytes, list[VmId]] = {}
@@ -43,16 +43,16 @@
     def leave(self, now: float) -> None:
         """Own nothing from now on."""
         self.leaving = True
-        self.set_live(self.live, now)
+        self.set_live(self.live_vms, now)
 
     def set_live(self, names: tuple[VmId, ...], now: float) -> None:
         """Rank among other VMs."""
         if self.leaving:
             names = tuple(name for name in names if name != self.vm)
-        if names == self.live:
+        if names == self.live_vms:
             return
         before = self.ranks
-        self.live = names
+        self.live_vms = names
         self.changed = now
         self.ranks = {}
         for place, ranked in before.items():
@@ -63,7 +63,7 @@
         """Return the VMs for a service address, its owner first."""
         ranked = self.ranks.get(place)
         if ranked is None:
-            ranked = [VmId(name) for name in rendezvous.rank(place, self.live)]
+            ranked = [VmId(name) for name in rendezvous.rank(place, self.live_vms)]
             self.ranks[place] = ranked
         return ranked
 
