--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -64,7 +64,7 @@
         window = settings.settle_seconds
         if not segment.is_tcp:
             window = settings.datagram_seconds
-        return now - self.state.ranking.changed < window
+        return now - self.state.ranking.changed_at < window
 
     def placed(self, event: FlowPlaced, now: float) -> None:
         """Forward what was held of a flow that has a server now."""
@@ -195,7 +195,7 @@
         """Return whether a record may still turn up: never reset a flow too early."""
         settings = self.state.settings
         ranking = self.state.ranking
-        if now - ranking.changed < settings.settle_seconds:
+        if now - ranking.changed_at < settings.settle_seconds:
             return True
         window = max(settings.cut_hold_seconds, settings.datagram_seconds)
         if not ranking.lost_lately(window, now):
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -23,7 +23,7 @@
     def __init__(self, vm: VmId) -> None:
         self.vm = vm
         self.live_vms: tuple[VmId, ...] = (vm,)
-        self.changed = float("-inf")
+        self.changed_at = float("-inf")
         self.losses: list[float] = []
         self.ranks: dict[bytes, list[VmId]] = {}
         self.numbers: dict[tuple[VmId, int], int] = {}
@@ -53,7 +53,7 @@
             return
         before = self.ranks
         self.live_vms = names
-        self.changed = now
+        self.changed_at = now
         self.ranks = {}
         for place, ranked in before.items():
             if self.rank(place)[:1] != ranked[:1]:
