--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -200,7 +200,7 @@
         window = max(settings.cut_hold_seconds, settings.datagram_seconds)
         if not ranking.lost_lately(window, now):
             return False
-        return now - ranking.losses[-1] < settings.cut_hold_seconds
+        return now - ranking.loss_times[-1] < settings.cut_hold_seconds
 
     def missed_twice(self, segment: Segment, now: float) -> bool:
         """Return whether a flow was missing before, some time ago.
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -24,7 +24,7 @@
         self.vm = vm
         self.live_vms: tuple[VmId, ...] = (vm,)
         self.changed_at = float("-inf")
-        self.losses: list[float] = []
+        self.loss_times: list[float] = []
         self.ranks: dict[bytes, list[VmId]] = {}
         self.numbers: dict[tuple[VmId, int], int] = {}
         self.incarnations: dict[VmId, int] = {}
@@ -35,7 +35,7 @@
     def change(self, view: ViewChanged, now: float) -> None:
         """Take a new view."""
         names = tuple(sorted(vm.vm for vm in view.live))
-        self.losses.extend(now for _ in view.lost)
+        self.loss_times.extend(now for _ in view.lost)
         self.incarnations = {vm.vm: vm.incarnation for vm in view.live}
         self.zones = {vm.vm: vm.zone for vm in view.live}
         self.set_live(names, now)
@@ -108,5 +108,5 @@
 
     def lost_lately(self, window: float, now: float) -> int:
         """Return how many VMs were lost within a time, in seconds."""
-        self.losses = [time for time in self.losses if now - time < window]
-        return len(self.losses)
+        self.loss_times = [time for time in self.loss_times if now - time < window]
+        return len(self.loss_times)
