Rename ranks to ranked_vms

It holds the ranked VMs by service key.

Rename: libs/flows/src/kumquatmux_flows/ranking.py ranks ranked_vms

--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -25,7 +25,7 @@
         self.live_vms: tuple[VmId, ...] = (vm,)
         self.changed_at = float("-inf")
         self.loss_times: list[float] = []
-        self.ranks: dict[bytes, list[VmId]] = {}
+        self.ranked_vms: dict[bytes, list[VmId]] = {}
         self.numbers: dict[tuple[VmId, int], int] = {}
         self.incarnations: dict[VmId, int] = {}
         self.zones: dict[VmId, ZoneName] = {}
@@ -51,20 +51,20 @@
             names = tuple(name for name in names if name != self.vm)
         if names == self.live_vms:
             return
-        before = self.ranks
+        before = self.ranked_vms
         self.live_vms = names
         self.changed_at = now
-        self.ranks = {}
+        self.ranked_vms = {}
         for place, ranked in before.items():
             if self.rank(place)[:1] != ranked[:1]:
                 self.owner_changes[place] = now
 
     def rank(self, place: bytes) -> list[VmId]:
         """Return the VMs for a service address, its owner first."""
-        ranked = self.ranks.get(place)
+        ranked = self.ranked_vms.get(place)
         if ranked is None:
             ranked = [VmId(name) for name in rendezvous.rank(place, self.live_vms)]
-            self.ranks[place] = ranked
+            self.ranked_vms[place] = ranked
         return ranked
 
     def owner(self, key: FlowKey) -> VmId | None:
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -173,8 +173,8 @@
     for port in range(60):
         cases.open_flow(made, cases.key_of(port))
     made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
-    made.state.ranking.ranks = {
-        place: [VmId("a"), VmId("b")] for place in made.state.ranking.ranks
+    made.state.ranking.ranked_vms = {
+        place: [VmId("a"), VmId("b")] for place in made.state.ranking.ranked_vms
     }
     batches = []
     for step in range(1, 101):
@@ -259,8 +259,8 @@
     made.silence.end(made.state.table.slots[key], Refusal.SILENT, SETTLED)
     made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
     second = "b" if first == "a" else "a"
-    made.state.ranking.ranks = {
-        place: [VmId(first), VmId(second)] for place in made.state.ranking.ranks
+    made.state.ranking.ranked_vms = {
+        place: [VmId(first), VmId(second)] for place in made.state.ranking.ranked_vms
     }
     actions = tick_for(made, SETTLED, 5.0)
     resets = [one for one in actions if isinstance(one, ResetCaller)]
