--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -26,7 +26,7 @@
         self.changed_at = float("-inf")
         self.loss_times: list[float] = []
         self.ranked_vms: dict[bytes, list[VmId]] = {}
-        self.numbers: dict[tuple[VmId, int], int] = {}
+        self.vm_numbers: dict[tuple[VmId, int], int] = {}
         self.incarnations: dict[VmId, int] = {}
         self.zones: dict[VmId, ZoneName] = {}
         self.owner_changes: dict[bytes, float] = {}
@@ -104,7 +104,7 @@
         if name is None:
             return NO_VM
         started = (name, self.incarnations.get(name, 0))
-        return self.numbers.setdefault(started, len(self.numbers))
+        return self.vm_numbers.setdefault(started, len(self.vm_numbers))
 
     def lost_lately(self, window: float, now: float) -> int:
         """Return how many VMs were lost within a time, in seconds."""
