--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -183,7 +183,11 @@
     def backups_of(self, place: bytes) -> dict[str, int]:
         """Return the number of the backup for each zone of servers."""
         ranking = self.state.ranking
-        zones = {ZoneName(""), *ranking.zones.values(), *self.state.routes.server_zones}
+        zones = {
+            ZoneName(""),
+            *ranking.vm_zones.values(),
+            *self.state.routes.server_zones,
+        }
         return {zone: ranking.number(ranking.backup(place, zone)) for zone in zones}
 
     def route_caller(
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -28,7 +28,7 @@
         self.ranked_vms: dict[bytes, list[VmId]] = {}
         self.vm_numbers: dict[tuple[VmId, int], int] = {}
         self.incarnations: dict[VmId, int] = {}
-        self.zones: dict[VmId, ZoneName] = {}
+        self.vm_zones: dict[VmId, ZoneName] = {}
         self.owner_changes: dict[bytes, float] = {}
         self.leaving = False
 
@@ -37,7 +37,7 @@
         names = tuple(sorted(vm.vm for vm in view.live))
         self.loss_times.extend(now for _ in view.lost)
         self.incarnations = {vm.vm: vm.incarnation for vm in view.live}
-        self.zones = {vm.vm: vm.zone for vm in view.live}
+        self.vm_zones = {vm.vm: vm.zone for vm in view.live}
         self.set_live(names, now)
 
     def leave(self, now: float) -> None:
@@ -85,9 +85,9 @@
         a zone that is cut off has the records of its own servers' flows.
         """
         others = [name for name in self.rank(place) if name != self.vm]
-        if zone and self.zones.get(self.vm) != zone:
+        if zone and self.vm_zones.get(self.vm) != zone:
             for name in others:
-                if self.zones.get(name) == zone:
+                if self.vm_zones.get(name) == zone:
                     return name
         return others[0] if others else None
 
@@ -96,7 +96,7 @@
         ranked = [name for name in self.rank(place) if name != origin]
         first_of_zone: dict[ZoneName, VmId] = {}
         for name in ranked:
-            first_of_zone.setdefault(self.zones.get(name, ZoneName("")), name)
+            first_of_zone.setdefault(self.vm_zones.get(name, ZoneName("")), name)
         return list(dict.fromkeys([*ranked[:1], *first_of_zone.values(), *ranked]))
 
     def number(self, name: VmId | None) -> int:
