--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -29,7 +29,7 @@
         self.vm_numbers: dict[tuple[VmId, int], int] = {}
         self.incarnations: dict[VmId, int] = {}
         self.vm_zones: dict[VmId, ZoneName] = {}
-        self.owner_changes: dict[bytes, float] = {}
+        self.owner_change_times: dict[bytes, float] = {}
         self.leaving = False
 
     def change(self, view: ViewChanged, now: float) -> None:
@@ -57,7 +57,7 @@
         self.ranked_vms = {}
         for place, ranked in before.items():
             if self.rank(place)[:1] != ranked[:1]:
-                self.owner_changes[place] = now
+                self.owner_change_times[place] = now
 
     def rank(self, place: bytes) -> list[VmId]:
         """Return the VMs for a service address, its owner first."""
