Rename change to apply_view

It applies a new membership view.

Rename: libs/flows/src/kumquatmux_flows/ranking.py change apply_view

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -128,7 +128,7 @@
 
     @apply.register
     def _(self, event: ViewChanged, now: float) -> None:
-        self.state.ranking.change(event, now)
+        self.state.ranking.apply_view(event, now)
         self.view_changed()
 
     @apply.register
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -32,7 +32,7 @@
         self.owner_change_times: dict[bytes, float] = {}
         self.leaving = False
 
-    def change(self, view: ViewChanged, now: float) -> None:
+    def apply_view(self, view: ViewChanged, now: float) -> None:
         """Take a new view."""
         names = tuple(sorted(vm.vm for vm in view.live))
         self.loss_times.extend(now for _ in view.lost)
