--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -38,14 +38,14 @@
         self.loss_times.extend(now for _ in view.lost)
         self.incarnations = {vm.vm: vm.incarnation for vm in view.live}
         self.vm_zones = {vm.vm: vm.zone for vm in view.live}
-        self.set_live(names, now)
+        self.set_live_vms(names, now)
 
     def leave(self, now: float) -> None:
         """Own nothing from now on."""
         self.leaving = True
-        self.set_live(self.live_vms, now)
+        self.set_live_vms(self.live_vms, now)
 
-    def set_live(self, names: tuple[VmId, ...], now: float) -> None:
+    def set_live_vms(self, names: tuple[VmId, ...], now: float) -> None:
         """Rank among other VMs."""
         if self.leaving:
             names = tuple(name for name in names if name != self.vm)
