--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -157,7 +157,7 @@
         state = self.state
         if hops >= state.settings.lookup_hops:
             return None
-        others = state.ranking.search_order(service_key_of(key), origin)
+        others = state.ranking.lookup_order(service_key_of(key), origin)
         for vm in others[hops:]:
             if vm != state.vm:
                 return vm
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -91,7 +91,7 @@
                     return name
         return others[0] if others else None
 
-    def search_order(self, place: bytes, origin: VmId) -> list[VmId]:
+    def lookup_order(self, place: bytes, origin: VmId) -> list[VmId]:
         """Return the VMs a search visits: the likely backups first."""
         ranked = [name for name in self.rank(place) if name != origin]
         first_of_zone: dict[ZoneName, VmId] = {}
