--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -249,7 +249,7 @@
         table.backup_times[slot] = now
         if table.roles[slot] != Role.OWNER:
             return
-        table.backup_vms[slot] = state.ranking.number(vm)
+        table.backup_vms[slot] = state.ranking.vm_number(vm)
         table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
         place = state.routes.service_keys[table.services[slot]]
         if state.ranking.rank(place)[:1] == [vm]:
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -44,7 +44,7 @@
 
     def backup_vm_number(self, slot: int) -> int:
         """Return the small number of the VM that should hold the second copy."""
-        return self.state.ranking.number(self.backup_vm_of(slot))
+        return self.state.ranking.vm_number(self.backup_vm_of(slot))
 
     def by_backup(self, slot: int, segment: Segment, now: float) -> None:
         """Pass a packet and its record to the backup, which forwards it."""
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -188,7 +188,7 @@
             *ranking.vm_zones.values(),
             *self.state.routes.server_zones,
         }
-        return {zone: ranking.number(ranking.backup(place, zone)) for zone in zones}
+        return {zone: ranking.vm_number(ranking.backup(place, zone)) for zone in zones}
 
     def route_caller(
         self,
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -99,7 +99,7 @@
             first_of_zone.setdefault(self.vm_zones.get(name, ZoneName("")), name)
         return list(dict.fromkeys([*ranked[:1], *first_of_zone.values(), *ranked]))
 
-    def number(self, name: VmId | None) -> int:
+    def vm_number(self, name: VmId | None) -> int:
         """Return the small number of one incarnation of a VM, ``NO_VM`` for none."""
         if name is None:
             return NO_VM
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -168,7 +168,7 @@
     def hand_over(self, slot: int, owner: VmId, now: float) -> None:
         """Give a record to the VM that owns it now."""
         state = self.state
-        held = state.table.backup_vms[slot] == state.ranking.number(owner)
+        held = state.table.backup_vms[slot] == state.ranking.vm_number(owner)
         owned = state.table.roles[slot] == Role.OWNER
         if owned and held and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             state.yield_role(slot, Role.BACKUP, "owner-moved")
@@ -184,7 +184,7 @@
             return
         if self.state.idle(slot, now) < SILENT_BEFORE_REPAIR_SECONDS:
             return
-        held = table.backup_vms[slot] == state.ranking.number(backup)
+        held = table.backup_vms[slot] == state.ranking.vm_number(backup)
         fresh = now - table.backup_times[slot] < self.idle_limit(slot) / 2
         if held and fresh and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             return
