Rename lost_lately to count_recent_losses

It counts recent losses of VMs.

Rename: libs/flows/src/kumquatmux_flows/ranking.py lost_lately count_recent_losses

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -198,7 +198,7 @@
         if now - ranking.changed_at < settings.settle_seconds:
             return True
         window = max(settings.cut_hold_seconds, settings.datagram_seconds)
-        if not ranking.lost_lately(window, now):
+        if not ranking.count_recent_losses(window, now):
             return False
         return now - ranking.loss_times[-1] < settings.cut_hold_seconds
 
@@ -262,7 +262,7 @@
             self.placing.handle_pending_packet(segment)
             return
         window = state.settings.datagram_seconds
-        lost = state.ranking.lost_lately(window, now)
+        lost = state.ranking.count_recent_losses(window, now)
         if not segment.is_tcp and (lost or suspect):
             state.refuse(segment, Refusal.RECORD_MAYBE_LOST)
             return
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -200,7 +200,7 @@
         target = self.callers.lookup_target(packet.segment.key, hops, origin)
         stage = Stage.LOOKUP if target is not None else Stage.MISS
         window = state.settings.datagram_seconds
-        lost = state.ranking.lost_lately(window, now) > 0
+        lost = state.ranking.count_recent_losses(window, now) > 0
         suspect = packet.passing.suspect or lost
         doubted = packet.passing.binding
         passing = Passing(stage, hops + 1, doubted, origin, suspect)
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -106,7 +106,7 @@
         started = (name, self.incarnations.get(name, 0))
         return self.vm_numbers.setdefault(started, len(self.vm_numbers))
 
-    def lost_lately(self, window: float, now: float) -> int:
+    def count_recent_losses(self, window: float, now: float) -> int:
         """Return how many VMs were lost within a time, in seconds."""
         self.loss_times = [time for time in self.loss_times if now - time < window]
         return len(self.loss_times)
