--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -100,7 +100,7 @@
         state = self.state
         state.last_packet = now
         segment = event.segment
-        owner = state.ranking.owner(segment.key)
+        owner = state.ranking.owner_of(segment.key)
         if owner == self.vm or owner is None:
             self.callers.take(segment, now)
             return
@@ -160,7 +160,7 @@
         self.owned = []
         self.backups = []
         for key in list(state.pending):
-            owner = state.ranking.owner(key)
+            owner = state.ranking.owner_of(key)
             if owner is not None and owner != self.vm:
                 self.move_pending(key, owner)
 
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -43,7 +43,7 @@
         better, for it is leaving or has a newer view.
         """
         state = self.state
-        owner = state.ranking.owner(packet.segment.key)
+        owner = state.ranking.owner_of(packet.segment.key)
         if owner is None or owner == state.vm or owner == packet.sender:
             return False
         if packet.passing.hops >= state.settings.hop_limit:
@@ -57,7 +57,7 @@
         if self.pass_to_owner(packet):
             self.note_moved(packet.segment)
             return
-        owner = self.state.ranking.owner(packet.segment.key)
+        owner = self.state.ranking.owner_of(packet.segment.key)
         named = owner in (self.state.vm, packet.sender)
         if named or self.holds(packet.segment):
             self.callers.take(packet.segment, now)
@@ -74,7 +74,7 @@
 
     def owns(self, segment: Segment) -> bool:
         """Return whether this VM owns a packet's flow."""
-        return self.state.ranking.owner(segment.key) == self.state.vm
+        return self.state.ranking.owner_of(segment.key) == self.state.vm
 
     def holds(self, segment: Segment) -> bool:
         """Return whether this VM has a record that is more than learned."""
@@ -103,7 +103,7 @@
         state = self.state
         table = state.table
         segment = packet.segment
-        if packet.sender == state.ranking.owner(segment.key):
+        if packet.sender == state.ranking.owner_of(segment.key):
             state.yield_role(slot, Role.BACKUP, "owner-moved")
         self.follow(slot, segment, now)
         state.to_server(slot, segment)
--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -67,7 +67,7 @@
             self.ranked_vms[place] = ranked
         return ranked
 
-    def owner(self, key: FlowKey) -> VmId | None:
+    def owner_of(self, key: FlowKey) -> VmId | None:
         """Return the owner of a flow, None if no VM is live."""
         ranked = self.rank(service_key_of(key))
         return ranked[0] if ranked else None
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -27,7 +27,7 @@
 
     def arrive(self, segment: Segment, server: Address, now: float) -> None:
         """Handle a reply straight from the fabric."""
-        owner = self.state.ranking.owner(segment.key)
+        owner = self.state.ranking.owner_of(segment.key)
         if owner == self.state.vm or owner is None:
             self.own(segment, server, now)
             return
--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -226,4 +226,4 @@
 
 
 def owns(made: FlowEngine, key: FlowKey) -> bool:
-    return made.state.ranking.owner(key) == made.vm
+    return made.state.ranking.owner_of(key) == made.vm
