--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -34,7 +34,7 @@
 from kumquatmux_flows.table import FlowFlag, FlowStatus, FlowTable, Role
 
 
-class FlowName(NamedTuple):
+class FlowLabel(NamedTuple):
     """A flow key that is put into words only when a log line needs it."""
 
     key: FlowKey
@@ -267,7 +267,7 @@
             service = "unknown" if number is None else self.routes.service_names[number]
         decisions.log(
             event,
-            flow=FlowName(key),
+            flow=FlowLabel(key),
             service=service,
             server=server,
             reason=reason,
