--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -13,7 +13,7 @@
     ResetCaller,
 )
 from kumquatmux_flows.refusals import Refusal
-from kumquatmux_flows.state import FlowState, Grace, Pending
+from kumquatmux_flows.state import FlowState, Pending, ProvisionalSlot
 from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
 
@@ -122,5 +122,5 @@
         state.start_work(slot)
         state.table.flow_flags[slot] |= FlowFlag.WORK_PROVISIONAL
         until = now + state.settings.opening_grace_seconds
-        state.graces.append(Grace(until, event.key, pending.epoch))
+        state.graces.append(ProvisionalSlot(until, event.key, pending.epoch))
         return pending.segments
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -46,7 +46,7 @@
         return f"{self.key[0]}/{caller}>{service}"
 
 
-class Grace(NamedTuple):
+class ProvisionalSlot(NamedTuple):
     """When the provisional slot of a new flow is given back.
 
     Attributes:
@@ -95,7 +95,7 @@
         self.ranking = Ranking(vm)
         self.out: list[Action] = []
         self.pending: dict[FlowKey, Pending] = {}
-        self.graces: deque[Grace] = deque()
+        self.graces: deque[ProvisionalSlot] = deque()
         self.missed: dict[FlowKey, float] = {}
         self.learned_order: deque[FlowKey] = deque()
         self.probes_left = 0.0
