--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -13,7 +13,7 @@
     ResetCaller,
 )
 from kumquatmux_flows.refusals import Refusal
-from kumquatmux_flows.state import FlowState, Pending, ProvisionalSlot
+from kumquatmux_flows.state import FlowState, PendingFlow, ProvisionalSlot
 from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
 
@@ -49,7 +49,7 @@
         elif len(state.pending) >= state.settings.pending_limit:
             state.refuse(segment, Refusal.TABLE_FULL)
         else:
-            state.pending[segment.key] = Pending([segment], service, epoch)
+            state.pending[segment.key] = PendingFlow([segment], service, epoch)
             state.out.append(
                 AskPlacement(segment.key, state.routes.service_names[service])
             )
@@ -62,7 +62,7 @@
             return
         state.refuse(segment, Refusal.SERVICE_UNKNOWN)
 
-    def retry_placement(self, event: FlowPlaced, pending: Pending) -> None:
+    def retry_placement(self, event: FlowPlaced, pending: PendingFlow) -> None:
         """Ask again when the chosen server may not get the flow; nothing was sent."""
         state = self.state
         name = state.routes.service_names[pending.service]
@@ -85,7 +85,7 @@
             self.state.out.append(ResetCaller(segment, event.reason))
         self.state.say("flow-refused", event.key, "none", event.reason)
 
-    def add_placed_record(self, key: FlowKey, server: int, pending: Pending) -> int:
+    def add_placed_record(self, key: FlowKey, server: int, pending: PendingFlow) -> int:
         """Return the slot of a flow that this VM placed."""
         state = self.state
         table = state.table
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -60,7 +60,7 @@
     epoch: int
 
 
-class Pending(NamedTuple):
+class PendingFlow(NamedTuple):
     """A flow that waits for placement.
 
     Attributes:
@@ -94,7 +94,7 @@
         self.routes = Routes()
         self.ranking = Ranking(vm)
         self.out: list[Action] = []
-        self.pending: dict[FlowKey, Pending] = {}
+        self.pending: dict[FlowKey, PendingFlow] = {}
         self.graces: deque[ProvisionalSlot] = deque()
         self.missed: dict[FlowKey, float] = {}
         self.learned_order: deque[FlowKey] = deque()
