Rename graces to provisional_slots

It queues provisional server slots.

Rename: libs/flows/src/kumquatmux_flows/state.py graces provisional_slots

--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -122,5 +122,5 @@
         state.start_work(slot)
         state.table.flow_flags[slot] |= FlowFlag.WORK_PROVISIONAL
         until = now + state.settings.opening_grace_seconds
-        state.graces.append(ProvisionalSlot(until, event.key, pending.epoch))
+        state.provisional_slots.append(ProvisionalSlot(until, event.key, pending.epoch))
         return pending.segments
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -95,7 +95,7 @@
         self.ranking = Ranking(vm)
         self.out: list[Action] = []
         self.pending: dict[FlowKey, PendingFlow] = {}
-        self.graces: deque[ProvisionalSlot] = deque()
+        self.provisional_slots: deque[ProvisionalSlot] = deque()
         self.missed: dict[FlowKey, float] = {}
         self.learned_order: deque[FlowKey] = deque()
         self.probes_left = 0.0
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -194,8 +194,8 @@
         """Give back the slots of new flows that sent nothing."""
         state = self.state
         table = state.table
-        while state.graces and state.graces[0].until <= now:
-            grace = state.graces.popleft()
+        while state.provisional_slots and state.provisional_slots[0].until <= now:
+            grace = state.provisional_slots.popleft()
             slot = table.slots.get(grace.key)
             if slot is None or table.epochs[slot] != grace.epoch:
                 continue
