Rename missed to first_miss_times

It holds the time of the first failed lookup.

Rename: libs/flows/src/kumquatmux_flows/state.py missed first_miss_times

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -208,7 +208,7 @@
         A record that only a disagreement of views hides turns up in between.
         """
         settings = self.state.settings
-        missed = self.state.missed
+        missed = self.state.first_miss_times
         first = missed.get(segment.key)
         if first is None or now - first > settings.half_open_seconds:
             if len(missed) >= settings.pending_limit:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -96,7 +96,7 @@
         self.out: list[Action] = []
         self.pending: dict[FlowKey, PendingFlow] = {}
         self.provisional_slots: deque[ProvisionalSlot] = deque()
-        self.missed: dict[FlowKey, float] = {}
+        self.first_miss_times: dict[FlowKey, float] = {}
         self.learned_order: deque[FlowKey] = deque()
         self.probes_left = 0.0
         self.last_packet = float("-inf")
