Rename learned_order to learned_keys

It queues the keys of learned records.

Rename: libs/flows/src/kumquatmux_flows/state.py learned_order learned_keys

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -80,7 +80,7 @@
             return
         self.make_room()
         slot = state.table.add(segment.key, Role.LEARNED, number, service)
-        state.learned_order.append(segment.key)
+        state.learned_keys.append(segment.key)
         if not segment.is_tcp:
             state.table.statuses[slot] = FlowStatus.UDP_ACTIVE
         self.note_reply(slot, segment, now)
@@ -89,13 +89,13 @@
         """Drop the oldest learned record when the cache is full."""
         state = self.state
         table = state.table
-        order = state.learned_order
+        order = state.learned_keys
         while table.role_counts[Role.LEARNED] >= state.settings.learned_limit and order:
             slot = table.slots.get(order.popleft())
             if slot is not None and table.roles[slot] == Role.LEARNED:
                 table.remove(slot)
         if len(order) > STALE_ORDER_FACTOR * state.settings.learned_limit:
-            state.learned_order = deque(dict.fromkeys(filter(self.is_learned, order)))
+            state.learned_keys = deque(dict.fromkeys(filter(self.is_learned, order)))
 
     def is_learned(self, key: object) -> bool:
         """Return whether a key still has a learned record."""
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -97,7 +97,7 @@
         self.pending: dict[FlowKey, PendingFlow] = {}
         self.provisional_slots: deque[ProvisionalSlot] = deque()
         self.first_miss_times: dict[FlowKey, float] = {}
-        self.learned_order: deque[FlowKey] = deque()
+        self.learned_keys: deque[FlowKey] = deque()
         self.probes_left = 0.0
         self.last_packet = float("-inf")
 
