--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -84,9 +84,9 @@
         server = table.servers[slot]
         key = self.witnesses.get(server)
         other = self.witness_slot(server)
-        if key is None or other is None or other == slot or state.probes_left < 1.0:
+        if key is None or other is None or other == slot or state.probe_budget < 1.0:
             return
-        state.probes_left -= 1.0
+        state.probe_budget -= 1.0
         self.asked.add(server)
         seq = table.server_acks[other] - 1 & SEQUENCE_MASK
         ack = table.server_nexts[other]
@@ -157,9 +157,9 @@
         waited = now - table.strike_times[slot]
         if table.strikes[slot] and waited < settings.probe_interval_seconds:
             return
-        if state.probes_left < 1.0:
+        if state.probe_budget < 1.0:
             return
-        state.probes_left -= 1.0
+        state.probe_budget -= 1.0
         self.strike(slot, settings.probe_interval_seconds, now)
         if table.strikes[slot] > settings.probe_limit:
             self.send_resets(slot, key, Refusal.SILENT)
@@ -217,8 +217,8 @@
     def repeat_reset(self, slot: int, key: FlowKey, now: float) -> None:
         """Reset a silent flow again while its key is in quarantine: resets get lost."""
         state = self.state
-        if state.table.strikes[slot] != WAS_RESET or state.probes_left < 1.0:
+        if state.table.strikes[slot] != WAS_RESET or state.probe_budget < 1.0:
             return
         if state.quarantined(slot, now):
-            state.probes_left -= 1.0
+            state.probe_budget -= 1.0
             self.send_resets(slot, key, Refusal.SILENT)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -98,7 +98,7 @@
         self.provisional_slots: deque[ProvisionalSlot] = deque()
         self.first_miss_times: dict[FlowKey, float] = {}
         self.learned_keys: deque[FlowKey] = deque()
-        self.probes_left = 0.0
+        self.probe_budget = 0.0
         self.last_packet = float("-inf")
 
     def service_of(self, key: FlowKey) -> int | None:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -66,8 +66,8 @@
         """Add to the budgets what the time allows."""
         self.batches.refill(elapsed)
         rate = self.state.settings.probes_per_second
-        left = self.state.probes_left + rate * elapsed
-        self.state.probes_left = min(left, max(rate * BURST_SECONDS, 1.0))
+        left = self.state.probe_budget + rate * elapsed
+        self.state.probe_budget = min(left, max(rate * BURST_SECONDS, 1.0))
 
     def share(self, elapsed: float) -> int:
         """Return how many slots this tick looks at."""
