Rename last_packet to last_packet_time

It holds a time. Made with rename.py; every use follows, behaviour is unchanged.

Rename: libs/flows/src/kumquatmux_flows/state.py last_packet last_packet_time

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -98,7 +98,7 @@
     @apply.register
     def _(self, event: CallerPacket, now: float) -> None:
         state = self.state
-        state.last_packet = now
+        state.last_packet_time = now
         segment = event.segment
         owner = state.ranking.owner_of(segment.key)
         if owner == self.vm or owner is None:
@@ -109,12 +109,12 @@
 
     @apply.register
     def _(self, event: ServerPacket, now: float) -> None:
-        self.state.last_packet = now
+        self.state.last_packet_time = now
         self.replies.arrive(event.segment, event.server, now)
 
     @apply.register
     def _(self, event: PeerPacket, now: float) -> None:
-        self.state.last_packet = now
+        self.state.last_packet_time = now
         self.peers.take(event, now)
 
     @apply.register
@@ -223,7 +223,7 @@
             ) & SEQUENCE_MASK
             if distance > 2 * NARROW_ACK_WINDOW_BYTES:
                 return None
-            state.last_packet = now
+            state.last_packet_time = now
             return routes.addresses[server]
         if not self.owned[service]:
             return None
@@ -244,7 +244,7 @@
         ):
             table.server_nexts[slot] = ack
         table.caller_times[slot] = now
-        state.last_packet = now
+        state.last_packet_time = now
         return routes.addresses[server]
 
     def count_payload(
@@ -298,7 +298,7 @@
         elif not self.count_reply(slot, ack, payload_length, now):
             return False
         table.reply_times[slot] = now
-        state.last_packet = now
+        state.last_packet_time = now
         return True
 
     def count_reply(self, slot: int, ack: int, payload_length: int, now: float) -> bool:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -99,7 +99,7 @@
         self.first_miss_times: dict[FlowKey, float] = {}
         self.learned_keys: deque[FlowKey] = deque()
         self.probe_budget = 0.0
-        self.last_packet = float("-inf")
+        self.last_packet_time = float("-inf")
 
     def service_of(self, key: FlowKey) -> int | None:
         """Return the number of the service in force at a flow's service address."""
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -209,7 +209,7 @@
             return
         if state.pending or state.table.role_counts[Role.OWNER]:
             return
-        if now - state.last_packet < state.settings.quiet_seconds:
+        if now - state.last_packet_time < state.settings.quiet_seconds:
             return
         self.told_quiet = True
         state.out.append(Quiet())
