--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -67,7 +67,7 @@
     def note_moved(self, segment: Segment) -> None:
         """Ask for a fresh view: a peer took this VM for an owner it is not."""
         state = self.state
-        service = state.service_of(segment.key)
+        service = state.current_service_of(segment.key)
         if service is None:
             return
         state.refresh(Refusal.OWNER_MOVED, state.routes.service_names[service], None)
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -41,7 +41,7 @@
     def request_placement(self, segment: Segment, epoch: int) -> None:
         """Hold the first packet of a flow and ask for a server."""
         state = self.state
-        service = state.service_of(segment.key)
+        service = state.current_service_of(segment.key)
         if service is None:
             self.refuse_unknown_service(segment)
         elif state.table.retained_count >= state.settings.flow_limit:
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -63,7 +63,7 @@
         routes = self.state.routes
         number = routes.server_numbers.get(server)
         if number is None:
-            service = self.state.service_of(segment.key)
+            service = self.state.current_service_of(segment.key)
             name = "" if service is None else routes.service_names[service]
             number = routes.server(server, name)  # type: ignore[arg-type]
         return number
@@ -71,7 +71,7 @@
     def add_learned(self, segment: Segment, number: int, now: float) -> None:
         """Add a learned record, the oldest goes when there are too many."""
         state = self.state
-        service = state.service_of(segment.key)
+        service = state.current_service_of(segment.key)
         if service is None or segment.flags & ENDING_FLAGS:
             return
         if not state.routes.permits(number, service):
@@ -144,7 +144,7 @@
     def without_record(self, segment: Segment, server: Address, now: float) -> None:
         """Pass on a reply whose flow has no record here, and learn it."""
         state = self.state
-        service = state.service_of(segment.key)
+        service = state.current_service_of(segment.key)
         number = state.routes.server_numbers[server]
         if service is None or not state.routes.permits(number, service):
             state.drop(Refusal.SERVICE_CROSSED)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -101,14 +101,14 @@
         self.probe_budget = 0.0
         self.last_packet_time = float("-inf")
 
-    def service_of(self, key: FlowKey) -> int | None:
+    def current_service_of(self, key: FlowKey) -> int | None:
         """Return the number of the service in force at a flow's service address."""
         return self.routes.current_services.get(service_key_of(key))
 
     def service_named(self, key: FlowKey, name: ServiceName) -> int | None:
         """Return the number of the service a binding names, in force or not."""
         if not name:
-            return self.service_of(key)
+            return self.current_service_of(key)
         return self.routes.service_number(name, service_key_of(key))
 
     def name_of(self, slot: int) -> ServiceName:
@@ -263,7 +263,7 @@
     ) -> None:
         """Log one decision."""
         if not service:
-            number = self.service_of(key)
+            number = self.current_service_of(key)
             service = "unknown" if number is None else self.routes.service_names[number]
         decisions.log(
             event,
