--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -120,7 +120,7 @@
     ) -> int | None:
         """Store a record that came with a packet."""
         state = self.state
-        service = state.service_named(segment.key, binding.service)
+        service = state.named_service_of(segment.key, binding.service)
         if service is None:
             return None
         table = state.table
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -105,7 +105,7 @@
         """Return the number of the service in force at a flow's service address."""
         return self.routes.current_services.get(service_key_of(key))
 
-    def service_named(self, key: FlowKey, name: ServiceName) -> int | None:
+    def named_service_of(self, key: FlowKey, name: ServiceName) -> int | None:
         """Return the number of the service a binding names, in force or not."""
         if not name:
             return self.current_service_of(key)
