--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -105,7 +105,7 @@
         return FlowRecord(
             key,
             state.address_of(slot),
-            state.name_of(slot),
+            state.service_name_of(slot),
             table.revisions[slot],
             table.epochs[slot],
             table.statuses[slot],
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -86,7 +86,7 @@
     def give_up(self, slot: int, segment: Segment, now: float) -> None:
         """Reset a flow whose server's address now serves another service."""
         state = self.state
-        name = state.name_of(slot)
+        name = state.service_name_of(slot)
         server = state.address_of(slot)
         state.forget(slot, Refusal.SERVER_GONE, now)
         state.refresh(Refusal.SERVER_GONE, name, server)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -111,7 +111,7 @@
             return self.current_service_of(key)
         return self.routes.service_number(name, service_key_of(key))
 
-    def name_of(self, slot: int) -> ServiceName:
+    def service_name_of(self, slot: int) -> ServiceName:
         """Return the service name of a record."""
         return self.routes.service_names[self.table.services[slot]]
 
@@ -128,7 +128,7 @@
             table.revisions[slot],
             table.epochs[slot],
             established,
-            self.name_of(slot),
+            self.service_name_of(slot),
         )
 
     def permits(self, slot: int) -> bool:
@@ -187,7 +187,9 @@
         self.table.flow_flags[slot] &= kept
         self.table.strikes[slot] = 0
         if self.table.statuses[slot] != FlowStatus.CLOSED:
-            self.out.append(FlowAdopted(key, self.address_of(slot), self.name_of(slot)))
+            self.out.append(
+                FlowAdopted(key, self.address_of(slot), self.service_name_of(slot))
+            )
         self.say_slot("flow-adopted", slot, reason)
 
     def yield_role(self, slot: int, role: Role, reason: str) -> None:
@@ -251,7 +253,7 @@
         if key is None:
             return
         server = str(unpack_endpoint(self.address_of(slot)))
-        self.say(event, key, server, reason, service=self.name_of(slot))
+        self.say(event, key, server, reason, service=self.service_name_of(slot))
 
     def say(
         self,
