--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -104,7 +104,7 @@
             raise ValueError(f"slot {slot} holds no flow")
         return FlowRecord(
             key,
-            state.address_of(slot),
+            state.server_address_of(slot),
             state.service_name_of(slot),
             table.revisions[slot],
             table.epochs[slot],
@@ -148,7 +148,7 @@
         if slot is not None and table.roles[slot] == Role.LEARNED:
             table.remove(slot)
             slot = None
-        if slot is not None and state.address_of(slot) != record.server:
+        if slot is not None and state.server_address_of(slot) != record.server:
             if not trusted and not self.is_better(record, slot, now):
                 return self.record(slot, now)
             self.lose(slot, now)
@@ -176,7 +176,7 @@
         idle = int(max(self.state.idle(slot, now), 0.0))
         if record.idle != idle:
             return record.idle < idle
-        return record.server < state.address_of(slot)
+        return record.server < state.server_address_of(slot)
 
     def lose(self, slot: int, now: float) -> None:
         """Drop the record that lost against another VM's."""
@@ -186,7 +186,7 @@
         is_tcp = state.table.statuses[slot] != FlowStatus.UDP_ACTIVE
         if key is not None and was_owner and is_tcp and state.permits(slot):
             seq = state.table.server_acks[slot]
-            state.out.append(ResetServer(key, state.address_of(slot), seq))
+            state.out.append(ResetServer(key, state.server_address_of(slot), seq))
         if was_owner:
             self.bindings.drop_copy(slot)
         state.forget(slot, Refusal.CONFLICT, now)
@@ -197,7 +197,7 @@
         slot = state.table.slots.get(lost.key)
         if slot is None or state.table.roles[slot] == Role.OWNER:
             return
-        if state.address_of(slot) == lost.server:
+        if state.server_address_of(slot) == lost.server:
             state.forget(slot, Refusal.CONFLICT, now)
 
     def add(self, record: FlowRecord, now: float) -> int:
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -38,7 +38,7 @@
         table = state.table
         slot = table.slots.get(segment.key)
         if slot is not None and table.roles[slot] != Role.LEARNED:
-            if state.address_of(slot) == binding.server:
+            if state.server_address_of(slot) == binding.server:
                 self.merge(slot, binding)
                 return slot
             if not self.is_better(binding, slot, segment):
@@ -84,7 +84,7 @@
             return binding.established
         if self.was_answered(slot):
             return False
-        return binding.server < self.state.address_of(slot)
+        return binding.server < self.state.server_address_of(slot)
 
     def was_answered(self, slot: int) -> bool:
         """Return whether the caller may have this server's half of a handshake."""
@@ -101,7 +101,7 @@
         was_open = state.table.statuses[slot] != FlowStatus.CLOSED
         if key is not None and was_open and state.permits(slot) and segment.is_tcp:
             seq = state.table.server_acks[slot]
-            state.out.append(ResetServer(key, state.address_of(slot), seq))
+            state.out.append(ResetServer(key, state.server_address_of(slot), seq))
         self.drop_copy(slot)
         state.forget(slot, Refusal.CONFLICT, now)
 
@@ -112,7 +112,7 @@
         holder = self.copies.backup_vm_of(slot)
         if key is None or holder is None:
             return
-        lost = LostRecord(key, state.address_of(slot))
+        lost = LostRecord(key, state.server_address_of(slot))
         state.out.append(SendMessage(holder, lost))
 
     def add_binding(
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -87,7 +87,7 @@
         """Reset a flow whose server's address now serves another service."""
         state = self.state
         name = state.service_name_of(slot)
-        server = state.address_of(slot)
+        server = state.server_address_of(slot)
         state.forget(slot, Refusal.SERVER_GONE, now)
         state.refresh(Refusal.SERVER_GONE, name, server)
         if not segment.flags & FLAG_RST:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -93,7 +93,7 @@
             self.state.drop(Refusal.SERVICE_UNKNOWN)
         elif not self.state.permits(slot):
             self.callers.give_up(slot, segment, now)
-        elif self.state.address_of(slot) != binding.server:
+        elif self.state.server_address_of(slot) != binding.server:
             self.correct(packet, slot)
         else:
             self.keep_copy(slot, packet, now)
@@ -217,7 +217,9 @@
         if slot is None:
             self.state.drop(Refusal.SERVICE_UNKNOWN)
             return
-        kept = binding is not None and self.state.address_of(slot) != binding.server
+        kept = (
+            binding is not None and self.state.server_address_of(slot) != binding.server
+        )
         if kept and packet.passing.hops == CORRECTED:
             self.state.drop(Refusal.CONFLICT)
             return
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -194,7 +194,7 @@
         """Follow, as the backup, the end a server gives to a flow."""
         state = self.state
         slot = state.table.slots.get(segment.key)
-        if slot is not None and state.address_of(slot) == binding.server:
+        if slot is not None and state.server_address_of(slot) == binding.server:
             state.table.reply_times[slot] = now
             if segment.flags & FLAG_RST:
                 state.close(slot, "reset-by-server", now)
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -90,7 +90,7 @@
         self.asked.add(server)
         seq = table.server_acks[other] - 1 & SEQUENCE_MASK
         ack = table.server_nexts[other]
-        state.out.append(ProbeServer(key, state.address_of(other), seq, ack))
+        state.out.append(ProbeServer(key, state.server_address_of(other), seq, ack))
 
     def witness_slot(self, server: int) -> int | None:
         """Return the slot of a server's witness, None if it can be none any more."""
@@ -136,7 +136,9 @@
         self.strike(slot, gap, now)
         if state.table.strikes[slot] <= settings.silent_retransmits:
             return
-        state.out.append(ResetServer(segment.key, state.address_of(slot), segment.seq))
+        state.out.append(
+            ResetServer(segment.key, state.server_address_of(slot), segment.seq)
+        )
         state.out.append(ResetCaller(segment, Refusal.SILENT))
         self.end(slot, Refusal.SILENT, now)
 
@@ -192,7 +194,9 @@
         server_ack = table.server_acks[slot]
         caller_ack = table.server_nexts[slot]
         seq = (server_ack or table.caller_nexts[slot]) - 1 & SEQUENCE_MASK
-        state.out.append(ProbeServer(key, state.address_of(slot), seq, caller_ack))
+        state.out.append(
+            ProbeServer(key, state.server_address_of(slot), seq, caller_ack)
+        )
         if server_ack and table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN:
             seq = caller_ack - 1 & SEQUENCE_MASK
             state.out.append(ProbeCaller(key, seq, server_ack))
@@ -208,7 +212,9 @@
         server_ack = table.server_acks[slot] or table.caller_nexts[slot]
         caller_ack = table.server_nexts[slot]
         if state.permits(slot):
-            state.out.append(ResetServer(key, state.address_of(slot), server_ack))
+            state.out.append(
+                ResetServer(key, state.server_address_of(slot), server_ack)
+            )
         segment = Segment(key, FLAG_ACK, server_ack, caller_ack, 0, b"")
         state.out.append(ResetCaller(segment, reason))
         before = caller_ack - 1 & SEQUENCE_MASK
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -115,7 +115,7 @@
         """Return the service name of a record."""
         return self.routes.service_names[self.table.services[slot]]
 
-    def address_of(self, slot: int) -> Address:
+    def server_address_of(self, slot: int) -> Address:
         """Return the server address of a record."""
         return self.routes.addresses[self.table.servers[slot]]
 
@@ -124,7 +124,7 @@
         table = self.table
         established = table.statuses[slot] != FlowStatus.HALF_OPEN
         return Binding(
-            self.address_of(slot),
+            self.server_address_of(slot),
             table.revisions[slot],
             table.epochs[slot],
             established,
@@ -139,7 +139,7 @@
         """Forward a packet to the server of a record, after the last rule check."""
         if not self.permits(slot):
             raise ValueError("a packet was about to reach another service's server")
-        self.out.append(SendToServer(self.address_of(slot), segment.packet))
+        self.out.append(SendToServer(self.server_address_of(slot), segment.packet))
 
     def drop(self, reason: Refusal) -> None:
         """Count a packet that goes nowhere."""
@@ -163,7 +163,7 @@
         if key is None or self.table.flow_flags[slot] & FlowFlag.WORK_PENDING:
             return
         self.table.flow_flags[slot] |= FlowFlag.WORK_PENDING
-        self.out.append(WorkStarted(key, self.address_of(slot)))
+        self.out.append(WorkStarted(key, self.server_address_of(slot)))
 
     def answer_work(self, slot: int) -> None:
         """Give the slot back, if the flow holds one."""
@@ -173,7 +173,7 @@
         self.table.flow_flags[slot] &= (
             ~(FlowFlag.WORK_PENDING | FlowFlag.WORK_PROVISIONAL) & 0xFF
         )
-        self.out.append(WorkAnswered(key, self.address_of(slot)))
+        self.out.append(WorkAnswered(key, self.server_address_of(slot)))
 
     def adopt(self, slot: int, reason: str) -> None:
         """Become the owner of a record placed elsewhere."""
@@ -188,7 +188,9 @@
         self.table.strikes[slot] = 0
         if self.table.statuses[slot] != FlowStatus.CLOSED:
             self.out.append(
-                FlowAdopted(key, self.address_of(slot), self.service_name_of(slot))
+                FlowAdopted(
+                    key, self.server_address_of(slot), self.service_name_of(slot)
+                )
             )
         self.say_slot("flow-adopted", slot, reason)
 
@@ -198,7 +200,7 @@
         if key is None or self.table.roles[slot] != Role.OWNER:
             return
         if self.table.statuses[slot] != FlowStatus.CLOSED:
-            self.out.append(FlowClosed(key, self.address_of(slot)))
+            self.out.append(FlowClosed(key, self.server_address_of(slot)))
         self.table.flow_flags[slot] &= (
             ~(FlowFlag.WORK_PENDING | FlowFlag.WORK_PROVISIONAL) & 0xFF
         )
@@ -211,7 +213,7 @@
         if key is None or self.table.statuses[slot] == FlowStatus.CLOSED:
             return
         if self.table.roles[slot] == Role.OWNER:
-            self.out.append(FlowClosed(key, self.address_of(slot)))
+            self.out.append(FlowClosed(key, self.server_address_of(slot)))
             self.say_slot("flow-closed", slot, reason)
         self.table.statuses[slot] = FlowStatus.CLOSED
         self.table.flow_flags[slot] &= (
@@ -252,7 +254,7 @@
         key = self.table.keys[slot]
         if key is None:
             return
-        server = str(unpack_endpoint(self.address_of(slot)))
+        server = str(unpack_endpoint(self.server_address_of(slot)))
         self.say(event, key, server, reason, service=self.service_name_of(slot))
 
     def say(
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -165,7 +165,7 @@
     for binding in (here, there):
         store = Passing(Stage.STORE, 0, binding)
         made.handle(PeerPacket(VmId("b"), store, first), SETTLED)
-    assert made.state.address_of(made.state.table.slots[key]) == server
+    assert made.state.server_address_of(made.state.table.slots[key]) == server
 
 
 def test_silent_flows_get_their_second_copy_within_the_budget() -> None:
