--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -150,7 +150,7 @@
         slot = state.table.slots.get(segment.key)
         if slot is None or state.table.roles[slot] == Role.LEARNED:
             return None
-        return state.binding(slot)
+        return state.binding_of(slot)
 
     def lookup_target(self, key: FlowKey, hops: int, origin: VmId) -> VmId | None:
         """Return the VM that a search visits next, None after the last."""
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -54,7 +54,7 @@
             state.to_server(slot, segment)
             return
         self.record_backup_sent(slot, next_seq(segment), now)
-        passing = Passing(Stage.STORE, 0, state.binding(slot))
+        passing = Passing(Stage.STORE, 0, state.binding_of(slot))
         state.out.append(SendToPeer(backup, passing, segment.packet))
 
     def record_backup_sent(self, slot: int, seq: int, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -132,7 +132,7 @@
 
     def correct(self, packet: PeerPacket, slot: int) -> None:
         """Give an owner the better record this VM has, with its packet."""
-        passing = Passing(Stage.ADOPT, CORRECTED, self.state.binding(slot))
+        passing = Passing(Stage.ADOPT, CORRECTED, self.state.binding_of(slot))
         peer = SendToPeer(packet.sender, passing, packet.segment.packet)
         self.state.out.append(peer)
 
@@ -169,7 +169,7 @@
             return None
         if state.table.roles[slot] == Role.LEARNED:
             fits = self.callers.ack_validator.fits_learned_record(slot, segment, now)
-            return state.binding(slot)._replace(epoch=0) if fits else None
+            return state.binding_of(slot)._replace(epoch=0) if fits else None
         if self.callers.ack_validator.indicates_other_server(slot, segment):
             return None
         half_open = state.table.statuses[slot] == FlowStatus.HALF_OPEN
@@ -179,7 +179,7 @@
             and not state.table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         ):
             return None
-        return state.binding(slot)
+        return state.binding_of(slot)
 
     def is_over(self, segment: Segment, now: float) -> bool:
         """Drop a searched packet of a flow that just ended here."""
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -187,7 +187,7 @@
         if backup is None:
             self.to_caller(segment)
             return
-        passing = Passing(Stage.REPLY_CLOSE, 0, state.binding(slot))
+        passing = Passing(Stage.REPLY_CLOSE, 0, state.binding_of(slot))
         state.out.append(SendToPeer(backup, passing, segment.packet))
 
     def close_copy(self, segment: Segment, binding: Binding, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -119,7 +119,7 @@
         """Return the server address of a record."""
         return self.routes.addresses[self.table.servers[slot]]
 
-    def binding(self, slot: int) -> Binding:
+    def binding_of(self, slot: int) -> Binding:
         """Return a record as it travels with a packet."""
         table = self.table
         established = table.statuses[slot] != FlowStatus.HALF_OPEN
