Rename permits to server_permitted

It tells whether the server may get packets of the flow.

Rename: libs/flows/src/kumquatmux_flows/state.py permits server_permitted

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -166,7 +166,7 @@
         state = self.state
         table = state.table
         status = table.statuses[slot]
-        if status == FlowStatus.CLOSED or not state.permits(slot):
+        if status == FlowStatus.CLOSED or not state.server_permitted(slot):
             return True
         if record.epoch != table.epochs[slot]:
             return record.epoch > table.epochs[slot]
@@ -184,7 +184,7 @@
         key = state.table.keys[slot]
         was_owner = state.table.roles[slot] == Role.OWNER
         is_tcp = state.table.statuses[slot] != FlowStatus.UDP_ACTIVE
-        if key is not None and was_owner and is_tcp and state.permits(slot):
+        if key is not None and was_owner and is_tcp and state.server_permitted(slot):
             seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.server_address_of(slot), seq))
         if was_owner:
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -69,9 +69,9 @@
     def is_better(self, binding: Binding, slot: int, segment: Segment) -> bool:
         """Return whether a binding wins over the record here."""
         table = self.state.table
-        if not self.state.permits(slot) or self.ack_validator.indicates_other_server(
-            slot, segment
-        ):
+        if not self.state.server_permitted(
+            slot
+        ) or self.ack_validator.indicates_other_server(slot, segment):
             return True
         if table.statuses[slot] == FlowStatus.CLOSED:
             return True
@@ -99,7 +99,12 @@
         state = self.state
         key = state.table.keys[slot]
         was_open = state.table.statuses[slot] != FlowStatus.CLOSED
-        if key is not None and was_open and state.permits(slot) and segment.is_tcp:
+        if (
+            key is not None
+            and was_open
+            and state.server_permitted(slot)
+            and segment.is_tcp
+        ):
             seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.server_address_of(slot), seq))
         self.drop_copy(slot)
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -74,7 +74,7 @@
     def with_record(self, slot: int, segment: Segment, now: float) -> None:
         """Handle a packet of a flow whose record is here."""
         state = self.state
-        if not state.permits(slot):
+        if not state.server_permitted(slot):
             self.give_up(slot, segment, now)
         elif state.table.statuses[slot] == FlowStatus.CLOSED:
             self.closed_flow(slot, segment, now)
@@ -225,7 +225,7 @@
         status = self.state.table.statuses[slot]
         if not self.ack_validator.indicates_other_server(
             slot, segment
-        ) or not self.state.permits(slot):
+        ) or not self.state.server_permitted(slot):
             self.with_record(slot, segment, now)
         elif status == FlowStatus.HALF_OPEN and self.is_doubtful(slot, segment, now):
             self.state.drop(Refusal.CONFLICT)
@@ -248,7 +248,7 @@
         seems to belong to a handshake with another server.
         """
         status = self.state.table.statuses[slot]
-        if status == FlowStatus.CLOSED or not self.state.permits(slot):
+        if status == FlowStatus.CLOSED or not self.state.server_permitted(slot):
             self.with_record(slot, segment, now)
         else:
             self.forward(slot, segment, now)
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -44,7 +44,7 @@
     def fits_learned_record(self, slot: int, segment: Segment, now: float) -> bool:
         """Return whether a packet fits a record only learned from replies."""
         table = self.state.table
-        if not self.state.permits(slot) or segment.opens:
+        if not self.state.server_permitted(slot) or segment.opens:
             return False
         if not segment.is_tcp:
             age = now - table.reply_times[slot]
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -91,7 +91,7 @@
         slot = self.callers.bindings.take_binding(binding, segment, Role.BACKUP, now)
         if slot is None:
             self.state.drop(Refusal.SERVICE_UNKNOWN)
-        elif not self.state.permits(slot):
+        elif not self.state.server_permitted(slot):
             self.callers.give_up(slot, segment, now)
         elif self.state.server_address_of(slot) != binding.server:
             self.correct(packet, slot)
@@ -163,7 +163,7 @@
         """
         state = self.state
         slot = state.table.slots.get(segment.key)
-        if slot is None or not state.permits(slot):
+        if slot is None or not state.server_permitted(slot):
             return None
         if state.table.statuses[slot] == FlowStatus.CLOSED:
             return None
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -136,7 +136,7 @@
             self.without_record(segment, server, now)
         elif table.servers[slot] != number:
             self.crossed(slot, segment)
-        elif not state.permits(slot):
+        elif not state.server_permitted(slot):
             state.drop(Refusal.SERVICE_CROSSED)
         else:
             self.answer(slot, segment, now)
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -99,7 +99,7 @@
         slot = None if key is None else table.slots.get(key)
         if slot is None or table.servers[slot] != server:
             return None
-        if table.roles[slot] != Role.OWNER or not self.state.permits(slot):
+        if table.roles[slot] != Role.OWNER or not self.state.server_permitted(slot):
             return None
         return slot if table.statuses[slot] == FlowStatus.ESTABLISHED else None
 
@@ -178,7 +178,7 @@
             slot = table.slots.get(key)
             if slot is None or table.roles[slot] != Role.OWNER:
                 continue
-            if not self.state.permits(slot):
+            if not self.state.server_permitted(slot):
                 continue
             if table.strikes[slot]:
                 self.probe(slot, key, now)
@@ -211,7 +211,7 @@
         table = state.table
         server_ack = table.server_acks[slot] or table.caller_nexts[slot]
         caller_ack = table.server_nexts[slot]
-        if state.permits(slot):
+        if state.server_permitted(slot):
             state.out.append(
                 ResetServer(key, state.server_address_of(slot), server_ack)
             )
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -131,13 +131,13 @@
             self.service_name_of(slot),
         )
 
-    def permits(self, slot: int) -> bool:
+    def server_permitted(self, slot: int) -> bool:
         """Return whether the server of a record may get its packets."""
         return self.routes.permits(self.table.servers[slot], self.table.services[slot])
 
     def to_server(self, slot: int, segment: Segment) -> None:
         """Forward a packet to the server of a record, after the last rule check."""
-        if not self.permits(slot):
+        if not self.server_permitted(slot):
             raise ValueError("a packet was about to reach another service's server")
         self.out.append(SendToServer(self.server_address_of(slot), segment.packet))
 
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -96,7 +96,7 @@
                 self.silence.repeat_reset(slot, key, now)
             if not self.state.quarantined(slot, now):
                 table.remove(slot)
-        elif not self.state.permits(slot):
+        elif not self.state.server_permitted(slot):
             self.strand(slot, key, now)
         elif self.state.idle(slot, now) > self.idle_limit(slot):
             self.state.forget(slot, Refusal.IDLE, now)
