--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -99,7 +99,7 @@
         starts = self.starts_flow(segment)
         if state.quarantined(slot, now):
             if starts:
-                state.drop(Refusal.QUARANTINED)
+                state.drop_packet(Refusal.QUARANTINED)
             elif state.table.strikes[slot] == WAS_RESET:
                 self.reset_again(segment)
             else:
@@ -115,7 +115,7 @@
     def reset_again(self, segment: Segment) -> None:
         """Repeat a reset that the caller did not take, now with its own numbers."""
         if segment.flags & FLAG_RST:
-            self.state.drop(Refusal.SILENT)
+            self.state.drop_packet(Refusal.SILENT)
             return
         self.state.out.append(ResetCaller(segment, Refusal.SILENT))
 
@@ -185,9 +185,9 @@
         elif self.starts_flow(segment):
             self.place_after_search(segment, now, suspect=suspect)
         elif segment.flags & FLAG_RST:
-            state.drop(Refusal.FLOW_UNKNOWN)
+            state.drop_packet(Refusal.FLOW_UNKNOWN)
         elif self.unsettled(now) or not self.missed_twice(segment, now):
-            state.drop(Refusal.VIEW_UNSETTLED)
+            state.drop_packet(Refusal.VIEW_UNSETTLED)
         else:
             state.refuse(segment, Refusal.FLOW_UNKNOWN)
 
@@ -228,7 +228,7 @@
         ) or not self.state.server_permitted(slot):
             self.with_record(slot, segment, now)
         elif status == FlowStatus.HALF_OPEN and self.is_doubtful(slot, segment, now):
-            self.state.drop(Refusal.CONFLICT)
+            self.state.drop_packet(Refusal.CONFLICT)
         else:
             self.forward(slot, segment, now)
 
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -62,7 +62,7 @@
         if named or self.holds(packet.segment):
             self.callers.take(packet.segment, now)
             return
-        self.state.drop(Refusal.HOP_LIMIT)
+        self.state.drop_packet(Refusal.HOP_LIMIT)
 
     def note_moved(self, segment: Segment) -> None:
         """Ask for a fresh view: a peer took this VM for an owner it is not."""
@@ -85,12 +85,12 @@
         """Keep the second copy of a record, then forward its packet."""
         binding = packet.passing.binding
         if binding is None:
-            self.state.drop(Refusal.FLOW_UNKNOWN)
+            self.state.drop_packet(Refusal.FLOW_UNKNOWN)
             return
         segment = packet.segment
         slot = self.callers.bindings.take_binding(binding, segment, Role.BACKUP, now)
         if slot is None:
-            self.state.drop(Refusal.SERVICE_UNKNOWN)
+            self.state.drop_packet(Refusal.SERVICE_UNKNOWN)
         elif not self.state.server_permitted(slot):
             self.callers.give_up(slot, segment, now)
         elif self.state.server_address_of(slot) != binding.server:
@@ -142,7 +142,7 @@
         segment = packet.segment
         origin = packet.passing.origin
         if segment.key in state.pending:
-            state.drop(Refusal.DUPLICATE_FIRST_PACKET)
+            state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
             return
         doubted = packet.passing.binding is not None
         binding = self.found(segment, now, doubted=doubted)
@@ -189,7 +189,7 @@
             return False
         if not state.quarantined(slot, now):
             return False
-        state.drop(Refusal.QUARANTINED)
+        state.drop_packet(Refusal.QUARANTINED)
         return True
 
     def search_on(self, packet: PeerPacket, now: float) -> None:
@@ -215,13 +215,13 @@
         if binding is not None:
             slot = self.callers.bindings.take_binding(binding, segment, Role.OWNER, now)
         if slot is None:
-            self.state.drop(Refusal.SERVICE_UNKNOWN)
+            self.state.drop_packet(Refusal.SERVICE_UNKNOWN)
             return
         kept = (
             binding is not None and self.state.server_address_of(slot) != binding.server
         )
         if kept and packet.passing.hops == CORRECTED:
-            self.state.drop(Refusal.CONFLICT)
+            self.state.drop_packet(Refusal.CONFLICT)
             return
         if self.owns(segment):
             self.state.adopt(slot, "found-at-peer")
@@ -239,7 +239,7 @@
         """Handle a reply another VM passed on."""
         binding = packet.passing.binding
         if binding is None:
-            self.state.drop(Refusal.FLOW_UNKNOWN)
+            self.state.drop_packet(Refusal.FLOW_UNKNOWN)
         elif not self.pass_to_owner(packet):
             self.replies.own(packet.segment, binding.server, now)
 
@@ -247,6 +247,6 @@
         """Handle the end of a flow as its backup."""
         binding = packet.passing.binding
         if binding is None:
-            self.state.drop(Refusal.FLOW_UNKNOWN)
+            self.state.drop_packet(Refusal.FLOW_UNKNOWN)
             return
         self.replies.close_copy(packet.segment, binding, now)
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -32,11 +32,11 @@
             state.out.append(CancelPlacement(segment.key))
             state.say("flow-cancelled", segment.key, "none", "reset-by-caller")
         elif segment.is_tcp:
-            state.drop(Refusal.DUPLICATE_FIRST_PACKET)
+            state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
         elif len(pending.segments) < state.settings.held_datagrams:
             pending.segments.append(segment)
         else:
-            state.drop(Refusal.HELD_FULL)
+            state.drop_packet(Refusal.HELD_FULL)
 
     def request_placement(self, segment: Segment, epoch: int) -> None:
         """Hold the first packet of a flow and ask for a server."""
@@ -58,7 +58,7 @@
         """Refuse a packet for a service address that is not in force here."""
         state = self.state
         if state.routes.revision < 0:
-            state.drop(Refusal.TABLE_STALE)
+            state.drop_packet(Refusal.TABLE_STALE)
             return
         state.refuse(segment, Refusal.SERVICE_UNKNOWN)
 
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -137,7 +137,7 @@
         elif table.servers[slot] != number:
             self.crossed(slot, segment)
         elif not state.server_permitted(slot):
-            state.drop(Refusal.SERVICE_CROSSED)
+            state.drop_packet(Refusal.SERVICE_CROSSED)
         else:
             self.answer(slot, segment, now)
 
@@ -147,14 +147,14 @@
         service = state.current_service_of(segment.key)
         number = state.routes.server_numbers[server]
         if service is None or not state.routes.permits(number, service):
-            state.drop(Refusal.SERVICE_CROSSED)
+            state.drop_packet(Refusal.SERVICE_CROSSED)
             return
         self.learn(segment, server, now)
         self.to_caller(segment)
 
     def crossed(self, slot: int, segment: Segment) -> None:
         """Drop a reply of another server than the flow's own."""
-        self.state.drop(Refusal.REPLY_CROSSED)
+        self.state.drop_packet(Refusal.REPLY_CROSSED)
         self.state.say_slot("reply-dropped", slot, Refusal.REPLY_CROSSED)
 
     def answer(self, slot: int, segment: Segment, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -141,7 +141,7 @@
             raise ValueError("a packet was about to reach another service's server")
         self.out.append(SendToServer(self.server_address_of(slot), segment.packet))
 
-    def drop(self, reason: Refusal) -> None:
+    def drop_packet(self, reason: Refusal) -> None:
         """Count a packet that goes nowhere."""
         self.out.append(Dropped(reason))
 
