--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -91,7 +91,7 @@
         state.forget(slot, Refusal.SERVER_GONE, now)
         state.refresh(Refusal.SERVER_GONE, name, server)
         if not segment.flags & FLAG_RST:
-            state.refuse(segment, Refusal.SERVER_GONE)
+            state.refuse_flow(segment, Refusal.SERVER_GONE)
 
     def closed_flow(self, slot: int, segment: Segment, now: float) -> None:
         """Handle a packet of a key whose last flow is over."""
@@ -189,7 +189,7 @@
         elif self.unsettled(now) or not self.missed_twice(segment, now):
             state.drop_packet(Refusal.VIEW_UNSETTLED)
         else:
-            state.refuse(segment, Refusal.FLOW_UNKNOWN)
+            state.refuse_flow(segment, Refusal.FLOW_UNKNOWN)
 
     def unsettled(self, now: float) -> bool:
         """Return whether a record may still turn up: never reset a flow too early."""
@@ -264,6 +264,6 @@
         window = state.settings.datagram_seconds
         lost = state.ranking.count_recent_losses(window, now)
         if not segment.is_tcp and (lost or suspect):
-            state.refuse(segment, Refusal.RECORD_MAYBE_LOST)
+            state.refuse_flow(segment, Refusal.RECORD_MAYBE_LOST)
             return
         self.placing.request_placement(segment, epoch=1)
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -45,9 +45,9 @@
         if service is None:
             self.refuse_unknown_service(segment)
         elif state.table.retained_count >= state.settings.flow_limit:
-            state.refuse(segment, Refusal.TABLE_FULL)
+            state.refuse_flow(segment, Refusal.TABLE_FULL)
         elif len(state.pending) >= state.settings.pending_limit:
-            state.refuse(segment, Refusal.TABLE_FULL)
+            state.refuse_flow(segment, Refusal.TABLE_FULL)
         else:
             state.pending[segment.key] = PendingFlow([segment], service, epoch)
             state.out.append(
@@ -60,7 +60,7 @@
         if state.routes.revision < 0:
             state.drop_packet(Refusal.TABLE_STALE)
             return
-        state.refuse(segment, Refusal.SERVICE_UNKNOWN)
+        state.refuse_flow(segment, Refusal.SERVICE_UNKNOWN)
 
     def retry_placement(self, event: FlowPlaced, pending: PendingFlow) -> None:
         """Ask again when the chosen server may not get the flow; nothing was sent."""
@@ -74,7 +74,7 @@
             state.out.append(AskPlacement(event.key, name))
             return
         for segment in pending.segments:
-            state.refuse(segment, Refusal.SERVER_GONE)
+            state.refuse_flow(segment, Refusal.SERVER_GONE)
 
     def refused(self, event: FlowRefused) -> None:
         """Tell the caller that placement has no server for its flow."""
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -145,7 +145,9 @@
         """Count a packet that goes nowhere."""
         self.out.append(Dropped(reason))
 
-    def refuse(self, segment: Segment, reason: Refusal, server: str = "none") -> None:
+    def refuse_flow(
+        self, segment: Segment, reason: Refusal, server: str = "none"
+    ) -> None:
         """Tell a caller that its flow has no route."""
         self.out.append(ResetCaller(segment, reason))
         self.say("flow-refused", segment.key, server, reason)
