--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -89,7 +89,7 @@
         name = state.service_name_of(slot)
         server = state.server_address_of(slot)
         state.forget(slot, Refusal.SERVER_GONE, now)
-        state.refresh(Refusal.SERVER_GONE, name, server)
+        state.request_route_refresh(Refusal.SERVER_GONE, name, server)
         if not segment.flags & FLAG_RST:
             state.refuse_flow(segment, Refusal.SERVER_GONE)
 
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -70,7 +70,9 @@
         service = state.current_service_of(segment.key)
         if service is None:
             return
-        state.refresh(Refusal.OWNER_MOVED, state.routes.service_names[service], None)
+        state.request_route_refresh(
+            Refusal.OWNER_MOVED, state.routes.service_names[service], None
+        )
 
     def owns(self, segment: Segment) -> bool:
         """Return whether this VM owns a packet's flow."""
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -67,7 +67,7 @@
         state = self.state
         name = state.routes.service_names[pending.service]
         state.out.append(FlowClosed(event.key, event.server))
-        state.refresh(Refusal.SERVER_GONE, name, event.server)
+        state.request_route_refresh(Refusal.SERVER_GONE, name, event.server)
         if pending.attempts < state.settings.placement_attempts:
             retry = pending._replace(attempts=pending.attempts + 1)
             state.pending[event.key] = retry
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -152,7 +152,7 @@
         self.out.append(ResetCaller(segment, reason))
         self.say("flow-refused", segment.key, server, reason)
 
-    def refresh(
+    def request_route_refresh(
         self, reason: Refusal, service: ServiceName, server: Address | None
     ) -> None:
         """Ask for a fresh route after a failure."""
