--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -311,5 +311,5 @@
         if not told or marks & WORK_PENDING or table.strikes[slot]:
             self.silence.answered(slot, ack, now)
         if payload_length and marks & WORK_PENDING:
-            self.state.answer_work(slot)
+            self.state.finish_work(slot)
         return True
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -169,7 +169,7 @@
         if segment.flags & FLAG_ACK or not segment.is_tcp:
             self.callers.copies.confirm_backup(slot, segment.ack)
         if segment.payload_length:
-            state.answer_work(slot)
+            state.finish_work(slot)
         if segment.flags & ENDING_FLAGS:
             self.end(slot, segment, now)
         else:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -167,7 +167,7 @@
         self.table.flow_flags[slot] |= FlowFlag.WORK_PENDING
         self.out.append(WorkStarted(key, self.server_address_of(slot)))
 
-    def answer_work(self, slot: int) -> None:
+    def finish_work(self, slot: int) -> None:
         """Give the slot back, if the flow holds one."""
         key = self.table.keys[slot]
         if key is None or not self.table.flow_flags[slot] & FlowFlag.WORK_PENDING:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -200,7 +200,7 @@
             if slot is None or table.epochs[slot] != grace.epoch:
                 continue
             if table.flow_flags[slot] & FlowFlag.WORK_PROVISIONAL:
-                state.answer_work(slot)
+                state.finish_work(slot)
 
     def tell_quiet(self, now: float) -> None:
         """Report once that a leaving VM has nothing left to do."""
