Rename adopt to take_ownership

It makes this VM the owner of a record.

Rename: libs/flows/src/kumquatmux_flows/state.py adopt take_ownership

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -227,7 +227,7 @@
             table.statuses[slot] = record.status
         place = self.state.routes.service_keys[table.services[slot]]
         if self.state.ranking.owns(place):
-            self.state.adopt(slot, "handed-over")
+            self.state.take_ownership(slot, "handed-over")
 
     def take_confirmation(self, sender: VmId, stored: BatchStored, now: float) -> None:
         """Note that another VM keeps the records of a batch."""
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -141,5 +141,5 @@
         elif binding.established:
             table.statuses[slot] = FlowStatus.ESTABLISHED
         if role == Role.OWNER:
-            state.adopt(slot, "found-at-peer")
+            state.take_ownership(slot, "found-at-peer")
         return slot
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -180,7 +180,7 @@
         elif slot is not None and self.ack_validator.fits_learned_record(
             slot, segment, now
         ):
-            state.adopt(slot, "learned-from-replies")
+            state.take_ownership(slot, "learned-from-replies")
             self.with_record(slot, segment, now)
         elif self.starts_flow(segment):
             self.place_after_search(segment, now, suspect=suspect)
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -226,7 +226,7 @@
             self.state.drop_packet(Refusal.CONFLICT)
             return
         if self.owns(segment):
-            self.state.adopt(slot, "found-at-peer")
+            self.state.take_ownership(slot, "found-at-peer")
         if kept:
             self.callers.after_search(slot, segment, now)
         else:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -177,7 +177,7 @@
         )
         self.out.append(WorkAnswered(key, self.server_address_of(slot)))
 
-    def adopt(self, slot: int, reason: str) -> None:
+    def take_ownership(self, slot: int, reason: str) -> None:
         """Become the owner of a record placed elsewhere."""
         key = self.table.keys[slot]
         if key is None or self.table.roles[slot] == Role.OWNER:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -153,7 +153,7 @@
                 self.hand_over(slot, owner[0], now)
             return
         if table.roles[slot] == Role.BACKUP:
-            state.adopt(slot, "owner-gone")
+            state.take_ownership(slot, "owner-gone")
         self.repair(slot, now)
         self.silence.offer_witness(slot, key, now)
         self.silence.probe(slot, key, now)
