Rename yield_role to release_ownership

It ends the ownership of a record.

Rename: libs/flows/src/kumquatmux_flows/state.py yield_role release_ownership

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -253,4 +253,4 @@
         table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
         place = state.routes.service_keys[table.services[slot]]
         if state.ranking.rank(place)[:1] == [vm]:
-            state.yield_role(slot, Role.BACKUP, "owner-moved")
+            state.release_ownership(slot, Role.BACKUP, "owner-moved")
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -106,7 +106,7 @@
         table = state.table
         segment = packet.segment
         if packet.sender == state.ranking.owner_of(segment.key):
-            state.yield_role(slot, Role.BACKUP, "owner-moved")
+            state.release_ownership(slot, Role.BACKUP, "owner-moved")
         self.follow(slot, segment, now)
         state.to_server(slot, segment)
         if segment.flags & FLAG_RST:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -196,7 +196,7 @@
             )
         self.say_slot("flow-adopted", slot, reason)
 
-    def yield_role(self, slot: int, role: Role, reason: str) -> None:
+    def release_ownership(self, slot: int, role: Role, reason: str) -> None:
         """Stop being the owner of a record and keep it for another reason."""
         key = self.table.keys[slot]
         if key is None or self.table.roles[slot] != Role.OWNER:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -171,7 +171,7 @@
         held = state.table.backup_vms[slot] == state.ranking.vm_number(owner)
         owned = state.table.roles[slot] == Role.OWNER
         if owned and held and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
-            state.yield_role(slot, Role.BACKUP, "owner-moved")
+            state.release_ownership(slot, Role.BACKUP, "owner-moved")
             return
         self.batches.collect(slot, owner, now)
 
