--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -110,7 +110,7 @@
         self.follow(slot, segment, now)
         state.to_server(slot, segment)
         if segment.flags & FLAG_RST:
-            state.close(slot, "reset-by-caller", now)
+            state.close_flow(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
             table.flow_flags[slot] |= FlowFlag.CALLER_FIN
             self.callers.tracking.closing(slot, now)
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -179,7 +179,7 @@
         """Follow the end a server gives to a flow, and let the backup see it."""
         state = self.state
         if segment.flags & FLAG_RST:
-            state.close(slot, "reset-by-server", now)
+            state.close_flow(slot, "reset-by-server", now)
         else:
             state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
             self.callers.tracking.closing(slot, now)
@@ -197,7 +197,7 @@
         if slot is not None and state.server_address_of(slot) == binding.server:
             state.table.reply_times[slot] = now
             if segment.flags & FLAG_RST:
-                state.close(slot, "reset-by-server", now)
+                state.close_flow(slot, "reset-by-server", now)
             else:
                 state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
                 self.callers.tracking.closing(slot, now)
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -144,7 +144,7 @@
 
     def end(self, slot: int, reason: Refusal, now: float) -> None:
         """Close a flow that was reset."""
-        self.state.close(slot, reason, now)
+        self.state.close_flow(slot, reason, now)
         self.state.table.strikes[slot] = WAS_RESET
 
     def probe(self, slot: int, key: FlowKey, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -209,7 +209,7 @@
         self.table.set_role(slot, role)
         self.say_slot("flow-handed-over", slot, reason)
 
-    def close(self, slot: int, reason: str, now: float) -> None:
+    def close_flow(self, slot: int, reason: str, now: float) -> None:
         """Mark a flow as over; its key stays with its server for the quarantine."""
         key = self.table.keys[slot]
         if key is None or self.table.statuses[slot] == FlowStatus.CLOSED:
@@ -225,7 +225,7 @@
 
     def forget(self, slot: int, reason: str, now: float) -> None:
         """Drop a record without quarantine."""
-        self.close(slot, reason, now)
+        self.close_flow(slot, reason, now)
         self.table.remove(slot)
 
     def quarantined(self, slot: int, now: float) -> bool:
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -56,7 +56,7 @@
         state = self.state
         table = state.table
         if segment.flags & FLAG_RST:
-            state.close(slot, "reset-by-caller", now)
+            state.close_flow(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
             table.flow_flags[slot] |= FlowFlag.CALLER_FIN
             self.closing(slot, now)
@@ -66,6 +66,6 @@
         table = self.state.table
         marks = table.flow_flags[slot]
         if marks & FlowFlag.CALLER_FIN and marks & FlowFlag.SERVER_FIN:
-            self.state.close(slot, "finished", now)
+            self.state.close_flow(slot, "finished", now)
         elif table.statuses[slot] != FlowStatus.CLOSED:
             table.statuses[slot] = FlowStatus.CLOSING
