--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -189,7 +189,7 @@
             state.out.append(ResetServer(key, state.server_address_of(slot), seq))
         if was_owner:
             self.bindings.drop_copy(slot)
-        state.forget(slot, Refusal.CONFLICT, now)
+        state.remove_flow(slot, Refusal.CONFLICT, now)
 
     def take_lost(self, lost: LostRecord, now: float) -> None:
         """Drop the second copy of a record that lost against another."""
@@ -198,7 +198,7 @@
         if slot is None or state.table.roles[slot] == Role.OWNER:
             return
         if state.server_address_of(slot) == lost.server:
-            state.forget(slot, Refusal.CONFLICT, now)
+            state.remove_flow(slot, Refusal.CONFLICT, now)
 
     def add(self, record: FlowRecord, now: float) -> int:
         """Return the slot of a record that was not here."""
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -108,7 +108,7 @@
             seq = state.table.server_acks[slot]
             state.out.append(ResetServer(key, state.server_address_of(slot), seq))
         self.drop_copy(slot)
-        state.forget(slot, Refusal.CONFLICT, now)
+        state.remove_flow(slot, Refusal.CONFLICT, now)
 
     def drop_copy(self, slot: int) -> None:
         """Tell the holder of the second copy that the record has lost."""
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -88,7 +88,7 @@
         state = self.state
         name = state.service_name_of(slot)
         server = state.server_address_of(slot)
-        state.forget(slot, Refusal.SERVER_GONE, now)
+        state.remove_flow(slot, Refusal.SERVER_GONE, now)
         state.request_route_refresh(Refusal.SERVER_GONE, name, server)
         if not segment.flags & FLAG_RST:
             state.refuse_flow(segment, Refusal.SERVER_GONE)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -223,7 +223,7 @@
         )
         self.table.strike_times[slot] = now
 
-    def forget(self, slot: int, reason: str, now: float) -> None:
+    def remove_flow(self, slot: int, reason: str, now: float) -> None:
         """Drop a record without quarantine."""
         self.close_flow(slot, reason, now)
         self.table.remove(slot)
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -99,7 +99,7 @@
         elif not self.state.server_permitted(slot):
             self.strand(slot, key, now)
         elif self.state.idle(slot, now) > self.idle_limit(slot):
-            self.state.forget(slot, Refusal.IDLE, now)
+            self.state.remove_flow(slot, Refusal.IDLE, now)
         elif table.roles[slot] != Role.LEARNED:
             self.keep(slot, key, now)
 
@@ -120,7 +120,7 @@
         """
         table = self.state.table
         if table.roles[slot] != Role.OWNER or key[0] != PROTOCOL_TCP:
-            self.state.forget(slot, Refusal.SERVER_GONE, now)
+            self.state.remove_flow(slot, Refusal.SERVER_GONE, now)
             return
         self.silence.send_resets(slot, key, Refusal.SERVER_GONE)
         self.silence.end(slot, Refusal.SERVER_GONE, now)
