--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -97,7 +97,7 @@
         """Handle a packet of a key whose last flow is over."""
         state = self.state
         starts = self.starts_flow(segment)
-        if state.quarantined(slot, now):
+        if state.is_quarantined(slot, now):
             if starts:
                 state.drop_packet(Refusal.QUARANTINED)
             elif state.table.strikes[slot] == WAS_RESET:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -189,7 +189,7 @@
         slot = state.table.slots.get(segment.key)
         if slot is None or state.table.statuses[slot] != FlowStatus.CLOSED:
             return False
-        if not state.quarantined(slot, now):
+        if not state.is_quarantined(slot, now):
             return False
         state.drop_packet(Refusal.QUARANTINED)
         return True
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -225,6 +225,6 @@
         state = self.state
         if state.table.strikes[slot] != WAS_RESET or state.probe_budget < 1.0:
             return
-        if state.quarantined(slot, now):
+        if state.is_quarantined(slot, now):
             state.probe_budget -= 1.0
             self.send_resets(slot, key, Refusal.SILENT)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -228,7 +228,7 @@
         self.close_flow(slot, reason, now)
         self.table.remove(slot)
 
-    def quarantined(self, slot: int, now: float) -> bool:
+    def is_quarantined(self, slot: int, now: float) -> bool:
         """Return whether a closed key still belongs to its last flow."""
         return now - self.table.strike_times[slot] < self.settings.quarantine_seconds
 
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -94,7 +94,7 @@
         if table.statuses[slot] == FlowStatus.CLOSED:
             if self.owns(slot):
                 self.silence.repeat_reset(slot, key, now)
-            if not self.state.quarantined(slot, now):
+            if not self.state.is_quarantined(slot, now):
                 table.remove(slot)
         elif not self.state.server_permitted(slot):
             self.strand(slot, key, now)
