--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -109,7 +109,7 @@
             table.revisions[slot],
             table.epochs[slot],
             table.statuses[slot],
-            int(max(self.state.idle(slot, now), 0.0)),
+            int(max(self.state.idle_seconds(slot, now), 0.0)),
             table.server_acks[slot],
             table.server_nexts[slot],
         )
@@ -173,7 +173,7 @@
         opened = record.status != FlowStatus.HALF_OPEN
         if opened != (status != FlowStatus.HALF_OPEN):
             return opened
-        idle = int(max(self.state.idle(slot, now), 0.0))
+        idle = int(max(self.state.idle_seconds(slot, now), 0.0))
         if record.idle != idle:
             return record.idle < idle
         return record.server < state.server_address_of(slot)
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -232,7 +232,7 @@
         """Return whether a closed key still belongs to its last flow."""
         return now - self.table.strike_times[slot] < self.settings.quarantine_seconds
 
-    def idle(self, slot: int, now: float) -> float:
+    def idle_seconds(self, slot: int, now: float) -> float:
         """Return the seconds since a sign of life of a flow."""
         table = self.table
         latest = max(table.caller_times[slot], table.reply_times[slot])
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -98,7 +98,7 @@
                 table.remove(slot)
         elif not self.state.server_permitted(slot):
             self.strand(slot, key, now)
-        elif self.state.idle(slot, now) > self.idle_limit(slot):
+        elif self.state.idle_seconds(slot, now) > self.idle_limit(slot):
             self.state.remove_flow(slot, Refusal.IDLE, now)
         elif table.roles[slot] != Role.LEARNED:
             self.keep(slot, key, now)
@@ -182,7 +182,7 @@
         backup = self.callers.copies.backup_vm_of(slot)
         if backup is None:
             return
-        if self.state.idle(slot, now) < SILENT_BEFORE_REPAIR_SECONDS:
+        if self.state.idle_seconds(slot, now) < SILENT_BEFORE_REPAIR_SECONDS:
             return
         held = table.backup_vms[slot] == state.ranking.vm_number(backup)
         fresh = now - table.backup_times[slot] < self.idle_limit(slot) / 2
