--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -118,7 +118,7 @@
             self.retry_placement(event, pending)
             return []
         slot = self.add_placed_record(event.key, server, pending)
-        state.say_slot("flow-placed", slot, "placement")
+        state.log_record("flow-placed", slot, "placement")
         state.start_work(slot)
         state.table.flow_flags[slot] |= FlowFlag.WORK_PROVISIONAL
         until = now + state.settings.opening_grace_seconds
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -155,7 +155,7 @@
     def crossed(self, slot: int, segment: Segment) -> None:
         """Drop a reply of another server than the flow's own."""
         self.state.drop_packet(Refusal.REPLY_CROSSED)
-        self.state.say_slot("reply-dropped", slot, Refusal.REPLY_CROSSED)
+        self.state.log_record("reply-dropped", slot, Refusal.REPLY_CROSSED)
 
     def answer(self, slot: int, segment: Segment, now: float) -> None:
         """Follow a reply of the flow's own server and pass it on."""
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -194,7 +194,7 @@
                     key, self.server_address_of(slot), self.service_name_of(slot)
                 )
             )
-        self.say_slot("flow-adopted", slot, reason)
+        self.log_record("flow-adopted", slot, reason)
 
     def release_ownership(self, slot: int, role: Role, reason: str) -> None:
         """Stop being the owner of a record and keep it for another reason."""
@@ -207,7 +207,7 @@
             ~(FlowFlag.WORK_PENDING | FlowFlag.WORK_PROVISIONAL) & 0xFF
         )
         self.table.set_role(slot, role)
-        self.say_slot("flow-handed-over", slot, reason)
+        self.log_record("flow-handed-over", slot, reason)
 
     def close_flow(self, slot: int, reason: str, now: float) -> None:
         """Mark a flow as over; its key stays with its server for the quarantine."""
@@ -216,7 +216,7 @@
             return
         if self.table.roles[slot] == Role.OWNER:
             self.out.append(FlowClosed(key, self.server_address_of(slot)))
-            self.say_slot("flow-closed", slot, reason)
+            self.log_record("flow-closed", slot, reason)
         self.table.statuses[slot] = FlowStatus.CLOSED
         self.table.flow_flags[slot] &= (
             ~(FlowFlag.WORK_PENDING | FlowFlag.WORK_PROVISIONAL) & 0xFF
@@ -251,7 +251,7 @@
         established = table.statuses[slot] == FlowStatus.ESTABLISHED
         return established and table.roles[slot] == Role.OWNER
 
-    def say_slot(self, event: str, slot: int, reason: str) -> None:
+    def log_record(self, event: str, slot: int, reason: str) -> None:
         """Log one decision about a record."""
         key = self.table.keys[slot]
         if key is None:
