--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -30,7 +30,7 @@
         if segment.flags & FLAG_RST:
             del state.pending[segment.key]
             state.out.append(CancelPlacement(segment.key))
-            state.say("flow-cancelled", segment.key, "none", "reset-by-caller")
+            state.log_decision("flow-cancelled", segment.key, "none", "reset-by-caller")
         elif segment.is_tcp:
             state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
         elif len(pending.segments) < state.settings.held_datagrams:
@@ -83,7 +83,7 @@
             return
         for segment in pending.segments:
             self.state.out.append(ResetCaller(segment, event.reason))
-        self.state.say("flow-refused", event.key, "none", event.reason)
+        self.state.log_decision("flow-refused", event.key, "none", event.reason)
 
     def add_placed_record(self, key: FlowKey, server: int, pending: PendingFlow) -> int:
         """Return the slot of a flow that this VM placed."""
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -150,7 +150,7 @@
     ) -> None:
         """Tell a caller that its flow has no route."""
         self.out.append(ResetCaller(segment, reason))
-        self.say("flow-refused", segment.key, server, reason)
+        self.log_decision("flow-refused", segment.key, server, reason)
 
     def request_route_refresh(
         self, reason: Refusal, service: ServiceName, server: Address | None
@@ -257,9 +257,11 @@
         if key is None:
             return
         server = str(unpack_endpoint(self.server_address_of(slot)))
-        self.say(event, key, server, reason, service=self.service_name_of(slot))
+        self.log_decision(
+            event, key, server, reason, service=self.service_name_of(slot)
+        )
 
-    def say(
+    def log_decision(
         self,
         event: str,
         key: FlowKey,
