--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -120,7 +120,7 @@
         self.number += 1
         until = now + self.state.settings.batch_timeout_seconds
         self.sent[self.number] = SentBatch(vm, until, records)
-        self.state.out.append(SendMessage(vm, RecordBatch(self.number, records)))
+        self.state.actions.append(SendMessage(vm, RecordBatch(self.number, records)))
 
     def end_batches(self, now: float) -> None:
         """Forget batches that were not confirmed in time."""
@@ -136,7 +136,7 @@
             if kept is not None:
                 better.append(kept)
         answer = BatchStored(batch.number, tuple(better))
-        self.state.out.append(SendMessage(sender, answer))
+        self.state.actions.append(SendMessage(sender, answer))
 
     def take_record(
         self, record: FlowRecord, now: float, *, trusted: bool
@@ -186,7 +186,7 @@
         is_tcp = state.table.statuses[slot] != FlowStatus.UDP_ACTIVE
         if key is not None and was_owner and is_tcp and state.server_permitted(slot):
             seq = state.table.server_acks[slot]
-            state.out.append(ResetServer(key, state.server_address_of(slot), seq))
+            state.actions.append(ResetServer(key, state.server_address_of(slot), seq))
         if was_owner:
             self.bindings.drop_copy(slot)
         state.remove_flow(slot, Refusal.CONFLICT, now)
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -117,7 +117,7 @@
         if segment.flags & FLAG_RST:
             self.state.drop_packet(Refusal.SILENT)
             return
-        self.state.out.append(ResetCaller(segment, Refusal.SILENT))
+        self.state.actions.append(ResetCaller(segment, Refusal.SILENT))
 
     def forward(self, slot: int, segment: Segment, now: float) -> None:
         """Send a packet to its server, by the backup while that lacks the record."""
@@ -142,7 +142,7 @@
             self.unresolved(segment, now)
             return
         passing = Passing(Stage.LOOKUP, 1, self.doubted(segment), self.state.vm)
-        self.state.out.append(SendToPeer(target, passing, segment.packet))
+        self.state.actions.append(SendToPeer(target, passing, segment.packet))
 
     def doubted(self, segment: Segment) -> Binding | None:
         """Return the record here that a search is to confirm or to replace."""
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -86,8 +86,8 @@
 
     def drain(self) -> list[Action]:
         """Return the actions that have gathered, and forget them."""
-        actions = self.state.out
-        self.state.out = []
+        actions = self.state.actions
+        self.state.actions = []
         return actions
 
     @singledispatchmethod
@@ -105,7 +105,7 @@
             self.callers.take(segment, now)
             return
         passing = Passing(Stage.TO_OWNER, 1)
-        state.out.append(SendToPeer(owner, passing, segment.packet))
+        state.actions.append(SendToPeer(owner, passing, segment.packet))
 
     @apply.register
     def _(self, event: ServerPacket, now: float) -> None:
@@ -167,10 +167,10 @@
     def move_pending(self, key: FlowKey, owner: VmId) -> None:
         """Pass a held flow to its new owner; nothing of it was forwarded yet."""
         state = self.state
-        state.out.append(CancelPlacement(key))
+        state.actions.append(CancelPlacement(key))
         for segment in state.pending.pop(key).segments:
             passing = Passing(Stage.TO_OWNER, 1)
-            state.out.append(SendToPeer(owner, passing, segment.packet))
+            state.actions.append(SendToPeer(owner, passing, segment.packet))
 
     def note_services(self) -> None:
         """Keep, for the fast path, who owns and who backs up each service number."""
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -49,7 +49,7 @@
         if packet.passing.hops >= state.settings.hop_limit:
             return False
         passing = packet.passing._replace(hops=packet.passing.hops + 1)
-        state.out.append(SendToPeer(owner, passing, packet.segment.packet))
+        state.actions.append(SendToPeer(owner, passing, packet.segment.packet))
         return True
 
     def to_owner(self, packet: PeerPacket, now: float) -> None:
@@ -136,7 +136,7 @@
         """Give an owner the better record this VM has, with its packet."""
         passing = Passing(Stage.ADOPT, CORRECTED, self.state.binding_of(slot))
         peer = SendToPeer(packet.sender, passing, packet.segment.packet)
-        self.state.out.append(peer)
+        self.state.actions.append(peer)
 
     def look_up(self, packet: PeerPacket, now: float) -> None:
         """Answer a search, or send it on to the next VM."""
@@ -150,7 +150,7 @@
         binding = self.found(segment, now, doubted=doubted)
         if binding is not None:
             passing = Passing(Stage.ADOPT, 0, binding)
-            state.out.append(SendToPeer(origin, passing, segment.packet))
+            state.actions.append(SendToPeer(origin, passing, segment.packet))
         elif not self.is_over(segment, now):
             self.search_on(packet, now)
 
@@ -207,7 +207,7 @@
         doubted = packet.passing.binding
         passing = Passing(stage, hops + 1, doubted, origin, suspect)
         vm = target if target is not None else origin
-        state.out.append(SendToPeer(vm, passing, packet.segment.packet))
+        state.actions.append(SendToPeer(vm, passing, packet.segment.packet))
 
     def adopt(self, packet: PeerPacket, now: float) -> None:
         """Take a record that a search or a correction found."""
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -34,7 +34,7 @@
         if not self.learn(segment, server, now):
             return
         passing = Passing(Stage.REPLY_TO_OWNER, 1, Binding(server, 0, 0))
-        self.state.out.append(SendToPeer(owner, passing, segment.packet))
+        self.state.actions.append(SendToPeer(owner, passing, segment.packet))
 
     def learn(self, segment: Segment, server: Address, now: float) -> bool:
         """Keep what a reply shows of its flow.
@@ -188,7 +188,7 @@
             self.to_caller(segment)
             return
         passing = Passing(Stage.REPLY_CLOSE, 0, state.binding_of(slot))
-        state.out.append(SendToPeer(backup, passing, segment.packet))
+        state.actions.append(SendToPeer(backup, passing, segment.packet))
 
     def close_copy(self, segment: Segment, binding: Binding, now: float) -> None:
         """Follow, as the backup, the end a server gives to a flow."""
@@ -207,4 +207,4 @@
         """Send a reply to its caller from the service address."""
         key = segment.key
         service = Address(key[5:9] + key[11:13])
-        self.state.out.append(SendToCaller(service, segment.packet))
+        self.state.actions.append(SendToCaller(service, segment.packet))
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -212,4 +212,4 @@
         if now - state.last_packet_time < state.settings.quiet_seconds:
             return
         self.told_quiet = True
-        state.out.append(Quiet())
+        state.actions.append(Quiet())
