--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -26,7 +26,7 @@
         self.copies = copies
         self.ack_validator = ack_validator
 
-    def take_binding(
+    def store_binding(
         self, binding: Binding, segment: Segment, role: Role, now: float
     ) -> int | None:
         """Store a record that came with a packet, unless the one here is better.
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -90,7 +90,7 @@
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
             return
         segment = packet.segment
-        slot = self.callers.bindings.take_binding(binding, segment, Role.BACKUP, now)
+        slot = self.callers.bindings.store_binding(binding, segment, Role.BACKUP, now)
         if slot is None:
             self.state.drop_packet(Refusal.SERVICE_UNKNOWN)
         elif not self.state.server_permitted(slot):
@@ -215,7 +215,9 @@
         segment = packet.segment
         slot = None
         if binding is not None:
-            slot = self.callers.bindings.take_binding(binding, segment, Role.OWNER, now)
+            slot = self.callers.bindings.store_binding(
+                binding, segment, Role.OWNER, now
+            )
         if slot is None:
             self.state.drop_packet(Refusal.SERVICE_UNKNOWN)
             return
