Rename merge to merge_binding

It merges a binding into a record.

Rename: libs/flows/src/kumquatmux_flows/bindings.py merge merge_binding

--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -39,7 +39,7 @@
         slot = table.slots.get(segment.key)
         if slot is not None and table.roles[slot] != Role.LEARNED:
             if state.server_address_of(slot) == binding.server:
-                self.merge(slot, binding)
+                self.merge_binding(slot, binding)
                 return slot
             if not self.is_better(binding, slot, segment):
                 return slot
@@ -49,7 +49,7 @@
             table.remove(slot)
         return self.add_binding(binding, segment, role, now)
 
-    def merge(self, slot: int, binding: Binding) -> None:
+    def merge_binding(self, slot: int, binding: Binding) -> None:
         """Take over what a binding knows more about the same server."""
         table = self.state.table
         if binding.epoch > table.epochs[slot]:
