--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -55,11 +55,11 @@
         if binding.epoch > table.epochs[slot]:
             table.epochs[slot] = binding.epoch
             if table.statuses[slot] == FlowStatus.CLOSED:
-                self.reopen(slot)
+                self.reopen_record(slot)
         if binding.established and table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = FlowStatus.ESTABLISHED
 
-    def reopen(self, slot: int) -> None:
+    def reopen_record(self, slot: int) -> None:
         """Start over with a new flow of the same key on the same server."""
         table = self.state.table
         epoch = table.epochs[slot]
