--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -41,7 +41,7 @@
             if state.server_address_of(slot) == binding.server:
                 self.merge_binding(slot, binding)
                 return slot
-            if not self.is_better(binding, slot, segment):
+            if not self.binding_wins(binding, slot, segment):
                 return slot
             self.replace(slot, segment, now)
             slot = None
@@ -66,7 +66,7 @@
         table.reset_progress(slot)
         table.epochs[slot] = epoch
 
-    def is_better(self, binding: Binding, slot: int, segment: Segment) -> bool:
+    def binding_wins(self, binding: Binding, slot: int, segment: Segment) -> bool:
         """Return whether a binding wins over the record here."""
         table = self.state.table
         if not self.state.server_permitted(
