--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -82,11 +82,11 @@
         here = table.statuses[slot] != FlowStatus.HALF_OPEN
         if binding.established != here:
             return binding.established
-        if self.was_answered(slot):
+        if self.handshake_answered(slot):
             return False
         return binding.server < self.state.server_address_of(slot)
 
-    def was_answered(self, slot: int) -> bool:
+    def handshake_answered(self, slot: int) -> bool:
         """Return whether the caller may have this server's half of a handshake."""
         table = self.state.table
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
