Rename replace to discard_record

It discards the losing record.

Rename: libs/flows/src/kumquatmux_flows/bindings.py replace discard_record

--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -43,7 +43,7 @@
                 return slot
             if not self.binding_wins(binding, slot, segment):
                 return slot
-            self.replace(slot, segment, now)
+            self.discard_record(slot, segment, now)
             slot = None
         elif slot is not None:
             table.remove(slot)
@@ -94,7 +94,7 @@
         seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         return bool(seen) and table.roles[slot] == Role.OWNER
 
-    def replace(self, slot: int, segment: Segment, now: float) -> None:
+    def discard_record(self, slot: int, segment: Segment, now: float) -> None:
         """Drop the record that lost, and reset its server's half of the handshake."""
         state = self.state
         key = state.table.keys[slot]
