Rename drop_copy to drop_backup_copy

It has the backup copy dropped.

Rename: libs/flows/src/kumquatmux_flows/bindings.py drop_copy drop_backup_copy

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -188,7 +188,7 @@
             seq = state.table.server_acks[slot]
             state.actions.append(ResetServer(key, state.server_address_of(slot), seq))
         if was_owner:
-            self.bindings.drop_copy(slot)
+            self.bindings.drop_backup_copy(slot)
         state.remove_flow(slot, Refusal.CONFLICT, now)
 
     def take_lost(self, lost: LostRecord, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -107,10 +107,10 @@
         ):
             seq = state.table.server_acks[slot]
             state.actions.append(ResetServer(key, state.server_address_of(slot), seq))
-        self.drop_copy(slot)
+        self.drop_backup_copy(slot)
         state.remove_flow(slot, Refusal.CONFLICT, now)
 
-    def drop_copy(self, slot: int) -> None:
+    def drop_backup_copy(self, slot: int) -> None:
         """Tell the holder of the second copy that the record has lost."""
         state = self.state
         key = state.table.keys[slot]
