--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -47,7 +47,7 @@
             slot = None
         elif slot is not None:
             table.remove(slot)
-        return self.add_binding(binding, segment, role, now)
+        return self.add_record(binding, segment, role, now)
 
     def merge_binding(self, slot: int, binding: Binding) -> None:
         """Take over what a binding knows more about the same server."""
@@ -120,7 +120,7 @@
         lost = LostRecord(key, state.server_address_of(slot))
         state.actions.append(SendMessage(holder, lost))
 
-    def add_binding(
+    def add_record(
         self, binding: Binding, segment: Segment, role: Role, now: float
     ) -> int | None:
         """Store a record that came with a packet."""
