--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
-from kumquatmux_flows.bindings import Bindings
+from kumquatmux_flows.bindings import BindingStore
 from kumquatmux_flows.events import ResetServer, SendMessage
 from kumquatmux_flows.messages import (
     BatchStored,
@@ -48,7 +48,9 @@
         bytes_left: What may be sent now.
     """
 
-    def __init__(self, state: FlowState, bindings: Bindings, silence: Silence) -> None:
+    def __init__(
+        self, state: FlowState, bindings: BindingStore, silence: Silence
+    ) -> None:
         self.state = state
         self.bindings = bindings
         self.silence = silence
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -12,7 +12,7 @@
 from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
 
-class Bindings:
+class BindingStore:
     """Stores what other VMs know of a flow.
 
     A higher epoch wins, then a finished handshake, then the lower server address: the
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -4,7 +4,7 @@
 
 from kumquatmux_core.identity import FlowKey, VmId
 from kumquatmux_core.segments import FLAG_FIN, FLAG_RST, FLAG_SYN, Segment
-from kumquatmux_flows.bindings import Bindings
+from kumquatmux_flows.bindings import BindingStore
 from kumquatmux_flows.copies import Copies
 from kumquatmux_flows.events import (
     Binding,
@@ -33,7 +33,7 @@
         self.state = state
         self.copies = Copies(state)
         self.ack_validator = AckValidator(state)
-        self.bindings = Bindings(state, self.copies, self.ack_validator)
+        self.bindings = BindingStore(state, self.copies, self.ack_validator)
         self.placing = Placing(state)
         self.tracking = Tracking(state, silence)
 
