--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -124,7 +124,7 @@
         state = self.state
         table = state.table
         table.caller_times[slot] = now
-        self.tracking.track(slot, segment, now)
+        self.tracking.track_packet(slot, segment, now)
         if table.statuses[slot] == FlowStatus.CLOSED:
             return
         if segment.flags & LIFECYCLE_FLAGS or not self.copies.backup_is_current(
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -15,7 +15,7 @@
         self.state = state
         self.silence = silence
 
-    def track(self, slot: int, segment: Segment, now: float) -> None:
+    def track_packet(self, slot: int, segment: Segment, now: float) -> None:
         """Follow handshake, work and retransmissions of a flow."""
         table = self.state.table
         if segment.opens:
