--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -133,7 +133,7 @@
             self.copies.by_backup(slot, segment, now)
         else:
             state.to_server(slot, segment)
-        self.tracking.track_end(slot, segment, now)
+        self.tracking.track_close(slot, segment, now)
 
     def look_up(self, segment: Segment, now: float) -> None:
         """Send a packet in search of its record, or decide without."""
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -51,7 +51,7 @@
         table.flow_flags[slot] |= FlowFlag.CALLER_NEXT_KNOWN
         self.state.start_work(slot)
 
-    def track_end(self, slot: int, segment: Segment, now: float) -> None:
+    def track_close(self, slot: int, segment: Segment, now: float) -> None:
         """Follow the end of a flow, or find that it went silent."""
         state = self.state
         table = state.table
