--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -113,7 +113,7 @@
             state.close_flow(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
             table.flow_flags[slot] |= FlowFlag.CALLER_FIN
-            self.callers.tracking.closing(slot, now)
+            self.callers.tracking.handle_fin(slot, now)
 
     def follow(self, slot: int, segment: Segment, now: float) -> None:
         """Note what a stored packet shows of its flow."""
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -182,7 +182,7 @@
             state.close_flow(slot, "reset-by-server", now)
         else:
             state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
-            self.callers.tracking.closing(slot, now)
+            self.callers.tracking.handle_fin(slot, now)
         backup = self.callers.copies.backup_vm_of(slot)
         if backup is None:
             self.to_caller(segment)
@@ -200,7 +200,7 @@
                 state.close_flow(slot, "reset-by-server", now)
             else:
                 state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
-                self.callers.tracking.closing(slot, now)
+                self.callers.tracking.handle_fin(slot, now)
         self.to_caller(segment)
 
     def to_caller(self, segment: Segment) -> None:
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -59,9 +59,9 @@
             state.close_flow(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
             table.flow_flags[slot] |= FlowFlag.CALLER_FIN
-            self.closing(slot, now)
+            self.handle_fin(slot, now)
 
-    def closing(self, slot: int, now: float) -> None:
+    def handle_fin(self, slot: int, now: float) -> None:
         """Follow a FIN: the second one ends the flow."""
         table = self.state.table
         marks = table.flow_flags[slot]
