Rename Tracking to FlowTracker

It tracks the progress of flows.

Rename: libs/flows/src/kumquatmux_flows/tracking.py Tracking FlowTracker

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -21,7 +21,7 @@
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import WAS_RESET, FlowFlag, FlowStatus, Role
-from kumquatmux_flows.tracking import Tracking
+from kumquatmux_flows.tracking import FlowTracker
 
 LIFECYCLE_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
 
@@ -35,7 +35,7 @@
         self.ack_validator = AckValidator(state)
         self.bindings = BindingStore(state, self.copies, self.ack_validator)
         self.placing = Placing(state)
-        self.tracking = Tracking(state, silence)
+        self.tracking = FlowTracker(state, silence)
 
     def take(self, segment: Segment, now: float) -> None:
         """Handle a caller's packet as the owner of its flow."""
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -8,7 +8,7 @@
 from kumquatmux_flows.table import FlowFlag, FlowStatus, next_seq, seq_after
 
 
-class Tracking:
+class FlowTracker:
     """Follows handshake, work and end of the flows this VM owns."""
 
     def __init__(self, state: FlowState, silence: Silence) -> None:
