Rename callers to caller_handler

It handles packets of callers.

Rename: libs/flows/src/kumquatmux_flows/engine.py callers caller_handler

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -66,10 +66,10 @@
         self.settings = settings
         self.state = FlowState(vm, settings, random)
         self.silence = Silence(self.state)
-        self.callers = CallerPath(self.state, self.silence)
-        self.replies = ReplyPath(self.state, self.callers, self.silence)
-        self.peers = PeerPath(self.state, self.callers, self.replies)
-        self.sweep = Sweep(self.state, self.callers, self.silence)
+        self.caller_handler = CallerPath(self.state, self.silence)
+        self.replies = ReplyPath(self.state, self.caller_handler, self.silence)
+        self.peers = PeerPath(self.state, self.caller_handler, self.replies)
+        self.sweep = Sweep(self.state, self.caller_handler, self.silence)
         self.owned: list[bool] = []
         self.backups: list[dict[str, int]] = []
 
@@ -102,7 +102,7 @@
         segment = event.segment
         owner = state.ranking.owner_of(segment.key)
         if owner == self.vm or owner is None:
-            self.callers.take(segment, now)
+            self.caller_handler.take(segment, now)
             return
         passing = Passing(Stage.TO_OWNER, 1)
         state.actions.append(SendToPeer(owner, passing, segment.packet))
@@ -139,11 +139,11 @@
 
     @apply.register
     def _(self, event: FlowPlaced, now: float) -> None:
-        self.callers.placed(event, now)
+        self.caller_handler.placed(event, now)
 
     @apply.register
     def _(self, event: FlowRefused, now: float) -> None:
-        self.callers.placing.refused(event)
+        self.caller_handler.placing.refused(event)
 
     @apply.register
     def _(self, event: Tick, now: float) -> None:
