Rename replies to reply_handler

It handles packets of servers.

Rename: libs/flows/src/kumquatmux_flows/engine.py replies reply_handler

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -67,8 +67,8 @@
         self.state = FlowState(vm, settings, random)
         self.silence = Silence(self.state)
         self.caller_handler = CallerPath(self.state, self.silence)
-        self.replies = ReplyPath(self.state, self.caller_handler, self.silence)
-        self.peers = PeerPath(self.state, self.caller_handler, self.replies)
+        self.reply_handler = ReplyPath(self.state, self.caller_handler, self.silence)
+        self.peers = PeerPath(self.state, self.caller_handler, self.reply_handler)
         self.sweep = Sweep(self.state, self.caller_handler, self.silence)
         self.owned: list[bool] = []
         self.backups: list[dict[str, int]] = []
@@ -110,7 +110,7 @@
     @apply.register
     def _(self, event: ServerPacket, now: float) -> None:
         self.state.last_packet_time = now
-        self.replies.arrive(event.segment, event.server, now)
+        self.reply_handler.arrive(event.segment, event.server, now)
 
     @apply.register
     def _(self, event: PeerPacket, now: float) -> None:
