--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -68,7 +68,9 @@
         self.silence = Silence(self.state)
         self.caller_handler = CallerPath(self.state, self.silence)
         self.reply_handler = ReplyPath(self.state, self.caller_handler, self.silence)
-        self.peers = PeerPath(self.state, self.caller_handler, self.reply_handler)
+        self.peer_handler = PeerPath(
+            self.state, self.caller_handler, self.reply_handler
+        )
         self.sweep = Sweep(self.state, self.caller_handler, self.silence)
         self.owned: list[bool] = []
         self.backups: list[dict[str, int]] = []
@@ -115,7 +117,7 @@
     @apply.register
     def _(self, event: PeerPacket, now: float) -> None:
         self.state.last_packet_time = now
-        self.peers.take(event, now)
+        self.peer_handler.take(event, now)
 
     @apply.register
     def _(self, event: PeerMessage, now: float) -> None:
