Rename owned to owned_services

It tells which services this VM owns.

Rename: libs/flows/src/kumquatmux_flows/engine.py owned owned_services

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -72,7 +72,7 @@
             self.state, self.caller_handler, self.reply_handler
         )
         self.sweep = Sweep(self.state, self.caller_handler, self.silence)
-        self.owned: list[bool] = []
+        self.owned_services: list[bool] = []
         self.backups: list[dict[str, int]] = []
 
     def use_settings(self, settings: FlowSettings) -> None:
@@ -136,7 +136,7 @@
     @apply.register
     def _(self, event: RoutesChanged, now: float) -> None:
         self.state.routes.change(event)
-        self.owned = []
+        self.owned_services = []
         self.backups = []
 
     @apply.register
@@ -159,7 +159,7 @@
     def view_changed(self) -> None:
         """Pass held flows to their new owners."""
         state = self.state
-        self.owned = []
+        self.owned_services = []
         self.backups = []
         for key in list(state.pending):
             owner = state.ranking.owner_of(key)
@@ -178,8 +178,8 @@
         """Keep, for the fast path, who owns and who backs up each service number."""
         ranking = self.state.ranking
         places = self.state.routes.service_keys
-        for place in places[len(self.owned) :]:
-            self.owned.append(ranking.owns(place))
+        for place in places[len(self.owned_services) :]:
+            self.owned_services.append(ranking.owns(place))
             self.backups.append(self.backups_of(place))
 
     def backups_of(self, place: bytes) -> dict[str, int]:
@@ -227,7 +227,7 @@
                 return None
             state.last_packet_time = now
             return routes.addresses[server]
-        if not self.owned[service]:
+        if not self.owned_services[service]:
             return None
         marks = table.flow_flags[slot]
         backup = self.backups[service][routes.server_zones[server]]
@@ -295,7 +295,7 @@
             if not payload_length or not flags or ack != table.server_acks[slot]:
                 return False
             table.server_nexts[slot] = (seq + payload_length) & SEQUENCE_MASK
-        elif not self.owned[service]:
+        elif not self.owned_services[service]:
             return False
         elif not self.count_reply(slot, ack, payload_length, now):
             return False
