Rename backups to backup_numbers

It caches the backup VM numbers.

Rename: libs/flows/src/kumquatmux_flows/engine.py backups backup_numbers

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -73,7 +73,7 @@
         )
         self.sweep = Sweep(self.state, self.caller_handler, self.silence)
         self.owned_services: list[bool] = []
-        self.backups: list[dict[str, int]] = []
+        self.backup_numbers: list[dict[str, int]] = []
 
     def use_settings(self, settings: FlowSettings) -> None:
         """Bring other settings into force; open flows go on under them."""
@@ -137,7 +137,7 @@
     def _(self, event: RoutesChanged, now: float) -> None:
         self.state.routes.change(event)
         self.owned_services = []
-        self.backups = []
+        self.backup_numbers = []
 
     @apply.register
     def _(self, event: FlowPlaced, now: float) -> None:
@@ -160,7 +160,7 @@
         """Pass held flows to their new owners."""
         state = self.state
         self.owned_services = []
-        self.backups = []
+        self.backup_numbers = []
         for key in list(state.pending):
             owner = state.ranking.owner_of(key)
             if owner is not None and owner != self.vm:
@@ -180,7 +180,7 @@
         places = self.state.routes.service_keys
         for place in places[len(self.owned_services) :]:
             self.owned_services.append(ranking.owns(place))
-            self.backups.append(self.backups_of(place))
+            self.backup_numbers.append(self.backups_of(place))
 
     def backups_of(self, place: bytes) -> dict[str, int]:
         """Return the number of the backup for each zone of servers."""
@@ -230,7 +230,7 @@
         if not self.owned_services[service]:
             return None
         marks = table.flow_flags[slot]
-        backup = self.backups[service][routes.server_zones[server]]
+        backup = self.backup_numbers[service][routes.server_zones[server]]
         if backup != NO_VM:
             if table.backup_vms[slot] != backup or not marks & BACKUP_CONFIRMED:
                 return None
