--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -65,13 +65,15 @@
         self.vm = vm
         self.settings = settings
         self.state = FlowState(vm, settings, random)
-        self.silence = Silence(self.state)
-        self.caller_handler = CallerPath(self.state, self.silence)
-        self.reply_handler = ReplyPath(self.state, self.caller_handler, self.silence)
+        self.silence_detector = Silence(self.state)
+        self.caller_handler = CallerPath(self.state, self.silence_detector)
+        self.reply_handler = ReplyPath(
+            self.state, self.caller_handler, self.silence_detector
+        )
         self.peer_handler = PeerPath(
             self.state, self.caller_handler, self.reply_handler
         )
-        self.sweep = Sweep(self.state, self.caller_handler, self.silence)
+        self.sweep = Sweep(self.state, self.caller_handler, self.silence_detector)
         self.owned_services: list[bool] = []
         self.backup_numbers: list[dict[str, int]] = []
 
@@ -309,9 +311,9 @@
         marks = table.flow_flags[slot]
         if not marks & BACKUP_CONFIRMED and table.backup_vms[slot] != NO_VM:
             return False
-        told = ack == table.server_acks[slot] and not self.silence.asked
+        told = ack == table.server_acks[slot] and not self.silence_detector.asked
         if not told or marks & WORK_PENDING or table.strikes[slot]:
-            self.silence.answered(slot, ack, now)
+            self.silence_detector.answered(slot, ack, now)
         if payload_length and marks & WORK_PENDING:
             self.state.finish_work(slot)
         return True
