--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -84,7 +84,7 @@
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Return what an event at a time, in seconds, asks for."""
-        self.apply(event, now)
+        self.apply_event(event, now)
         self.note_services()
         return self.drain()
 
@@ -95,11 +95,11 @@
         return actions
 
     @singledispatchmethod
-    def apply(self, event: Event, now: float) -> None:
+    def apply_event(self, event: Event, now: float) -> None:
         """Act on one event."""
         raise TypeError(f"no such event: {type(event).__name__}")
 
-    @apply.register
+    @apply_event.register
     def _(self, event: CallerPacket, now: float) -> None:
         state = self.state
         state.last_packet_time = now
@@ -111,17 +111,17 @@
         passing = Passing(Stage.TO_OWNER, 1)
         state.actions.append(SendToPeer(owner, passing, segment.packet))
 
-    @apply.register
+    @apply_event.register
     def _(self, event: ServerPacket, now: float) -> None:
         self.state.last_packet_time = now
         self.reply_handler.arrive(event.segment, event.server, now)
 
-    @apply.register
+    @apply_event.register
     def _(self, event: PeerPacket, now: float) -> None:
         self.state.last_packet_time = now
         self.peer_handler.take(event, now)
 
-    @apply.register
+    @apply_event.register
     def _(self, event: PeerMessage, now: float) -> None:
         if isinstance(event.message, RecordBatch):
             self.sweep.batches.take_batch(event.sender, event.message, now)
@@ -130,30 +130,30 @@
         else:
             self.sweep.batches.take_lost(event.message, now)
 
-    @apply.register
+    @apply_event.register
     def _(self, event: ViewChanged, now: float) -> None:
         self.state.ranking.apply_view(event, now)
         self.view_changed()
 
-    @apply.register
+    @apply_event.register
     def _(self, event: RoutesChanged, now: float) -> None:
         self.state.routes.change(event)
         self.owned_services = []
         self.backup_numbers = []
 
-    @apply.register
+    @apply_event.register
     def _(self, event: FlowPlaced, now: float) -> None:
         self.caller_handler.placed(event, now)
 
-    @apply.register
+    @apply_event.register
     def _(self, event: FlowRefused, now: float) -> None:
         self.caller_handler.placing.refused(event)
 
-    @apply.register
+    @apply_event.register
     def _(self, event: Tick, now: float) -> None:
         self.sweep.tick(now)
 
-    @apply.register
+    @apply_event.register
     def _(self, event: Leaving, now: float) -> None:
         self.state.ranking.leave(now)
         self.view_changed()
