--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -133,7 +133,7 @@
     @apply_event.register
     def _(self, event: ViewChanged, now: float) -> None:
         self.state.ranking.apply_view(event, now)
-        self.view_changed()
+        self.reassign_pending_flows()
 
     @apply_event.register
     def _(self, event: RoutesChanged, now: float) -> None:
@@ -156,9 +156,9 @@
     @apply_event.register
     def _(self, event: Leaving, now: float) -> None:
         self.state.ranking.leave(now)
-        self.view_changed()
+        self.reassign_pending_flows()
 
-    def view_changed(self) -> None:
+    def reassign_pending_flows(self) -> None:
         """Pass held flows to their new owners."""
         state = self.state
         self.owned_services = []
