Rename move_pending to move_pending_flow

It moves one pending flow.

Rename: libs/flows/src/kumquatmux_flows/engine.py move_pending move_pending_flow

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -166,9 +166,9 @@
         for key in list(state.pending):
             owner = state.ranking.owner_of(key)
             if owner is not None and owner != self.vm:
-                self.move_pending(key, owner)
+                self.move_pending_flow(key, owner)
 
-    def move_pending(self, key: FlowKey, owner: VmId) -> None:
+    def move_pending_flow(self, key: FlowKey, owner: VmId) -> None:
         """Pass a held flow to its new owner; nothing of it was forwarded yet."""
         state = self.state
         state.actions.append(CancelPlacement(key))
