Rename note_services to cache_service_owners

It caches owner and backup of each service.

Rename: libs/flows/src/kumquatmux_flows/engine.py note_services cache_service_owners

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -85,7 +85,7 @@
     def handle(self, event: Event, now: float) -> list[Action]:
         """Return what an event at a time, in seconds, asks for."""
         self.apply_event(event, now)
-        self.note_services()
+        self.cache_service_owners()
         return self.drain()
 
     def drain(self) -> list[Action]:
@@ -176,7 +176,7 @@
             passing = Passing(Stage.TO_OWNER, 1)
             state.actions.append(SendToPeer(owner, passing, segment.packet))
 
-    def note_services(self) -> None:
+    def cache_service_owners(self) -> None:
         """Keep, for the fast path, who owns and who backs up each service number."""
         ranking = self.state.ranking
         places = self.state.routes.service_keys
