--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -182,9 +182,9 @@
         places = self.state.routes.service_keys
         for place in places[len(self.owned_services) :]:
             self.owned_services.append(ranking.owns(place))
-            self.backup_numbers.append(self.backups_of(place))
+            self.backup_numbers.append(self.backup_numbers_by_zone(place))
 
-    def backups_of(self, place: bytes) -> dict[str, int]:
+    def backup_numbers_by_zone(self, place: bytes) -> dict[str, int]:
         """Return the number of the backup for each zone of servers."""
         ranking = self.state.ranking
         zones = {
