--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -239,7 +239,7 @@
             if now - table.backup_times[slot] > self.settings.copy_refresh_seconds:
                 return None
         if payload_length:
-            if not self.count_payload(slot, flags, seq, payload_length, marks):
+            if not self.track_caller_payload(slot, flags, seq, payload_length, marks):
                 return None
         elif not flags:
             return None
@@ -251,7 +251,7 @@
         state.last_packet_time = now
         return routes.addresses[server]
 
-    def count_payload(
+    def track_caller_payload(
         self, slot: int, flags: int, seq: int, payload_length: int, marks: int
     ) -> bool:
         """Count a caller's bytes as work; return False if they were seen before."""
