--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -299,13 +299,13 @@
             table.server_nexts[slot] = (seq + payload_length) & SEQUENCE_MASK
         elif not self.owned_services[service]:
             return False
-        elif not self.count_reply(slot, ack, payload_length, now):
+        elif not self.track_reply(slot, ack, payload_length, now):
             return False
         table.reply_times[slot] = now
         state.last_packet_time = now
         return True
 
-    def count_reply(self, slot: int, ack: int, payload_length: int, now: float) -> bool:
+    def track_reply(self, slot: int, ack: int, payload_length: int, now: float) -> bool:
         """Count a reply at the owner; return False if the slow path has to see it."""
         table = self.state.table
         marks = table.flow_flags[slot]
