--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -37,7 +37,7 @@
         self.placing = Placing(state)
         self.tracking = FlowTracker(state, silence)
 
-    def take(self, segment: Segment, now: float) -> None:
+    def handle_packet(self, segment: Segment, now: float) -> None:
         """Handle a caller's packet as the owner of its flow."""
         slot = self.state.table.slots.get(segment.key)
         if slot is None or self.state.table.roles[slot] == Role.LEARNED:
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -106,7 +106,7 @@
         segment = event.segment
         owner = state.ranking.owner_of(segment.key)
         if owner == self.vm or owner is None:
-            self.caller_handler.take(segment, now)
+            self.caller_handler.handle_packet(segment, now)
             return
         passing = Passing(Stage.TO_OWNER, 1)
         state.actions.append(SendToPeer(owner, passing, segment.packet))
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -60,7 +60,7 @@
         owner = self.state.ranking.owner_of(packet.segment.key)
         named = owner in (self.state.vm, packet.sender)
         if named or self.holds(packet.segment):
-            self.callers.take(packet.segment, now)
+            self.callers.handle_packet(packet.segment, now)
             return
         self.state.drop_packet(Refusal.HOP_LIMIT)
 
