Rename without_record to handle_without_record

It handles a packet without a record.

Rename: libs/flows/src/kumquatmux_flows/callers.py without_record handle_without_record

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -41,11 +41,11 @@
         """Handle a caller's packet as the owner of its flow."""
         slot = self.state.table.slots.get(segment.key)
         if slot is None or self.state.table.roles[slot] == Role.LEARNED:
-            self.without_record(segment, now)
+            self.handle_without_record(segment, now)
             return
         self.with_record(slot, segment, now)
 
-    def without_record(self, segment: Segment, now: float) -> None:
+    def handle_without_record(self, segment: Segment, now: float) -> None:
         """Handle a packet whose flow this owner does not know."""
         if segment.key in self.state.pending:
             self.placing.handle_pending_packet(segment)
