--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -43,7 +43,7 @@
         if slot is None or self.state.table.roles[slot] == Role.LEARNED:
             self.handle_without_record(segment, now)
             return
-        self.with_record(slot, segment, now)
+        self.handle_with_record(slot, segment, now)
 
     def handle_without_record(self, segment: Segment, now: float) -> None:
         """Handle a packet whose flow this owner does not know."""
@@ -69,9 +69,9 @@
     def placed(self, event: FlowPlaced, now: float) -> None:
         """Forward what was held of a flow that has a server now."""
         for segment in self.placing.bind_flow(event, now):
-            self.with_record(self.state.table.slots[event.key], segment, now)
+            self.handle_with_record(self.state.table.slots[event.key], segment, now)
 
-    def with_record(self, slot: int, segment: Segment, now: float) -> None:
+    def handle_with_record(self, slot: int, segment: Segment, now: float) -> None:
         """Handle a packet of a flow whose record is here."""
         state = self.state
         if not state.server_permitted(slot):
@@ -181,7 +181,7 @@
             slot, segment, now
         ):
             state.take_ownership(slot, "learned-from-replies")
-            self.with_record(slot, segment, now)
+            self.handle_with_record(slot, segment, now)
         elif self.starts_flow(segment):
             self.place_after_search(segment, now, suspect=suspect)
         elif segment.flags & FLAG_RST:
@@ -226,7 +226,7 @@
         if not self.ack_validator.indicates_other_server(
             slot, segment
         ) or not self.state.server_permitted(slot):
-            self.with_record(slot, segment, now)
+            self.handle_with_record(slot, segment, now)
         elif status == FlowStatus.HALF_OPEN and self.is_doubtful(slot, segment, now):
             self.state.drop_packet(Refusal.CONFLICT)
         else:
@@ -249,7 +249,7 @@
         """
         status = self.state.table.statuses[slot]
         if status == FlowStatus.CLOSED or not self.state.server_permitted(slot):
-            self.with_record(slot, segment, now)
+            self.handle_with_record(slot, segment, now)
         else:
             self.forward(slot, segment, now)
 
