--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -49,12 +49,12 @@
         """Handle a packet whose flow this owner does not know."""
         if segment.key in self.state.pending:
             self.placing.handle_pending_packet(segment)
-        elif self.starts_flow(segment) and not self.may_be_elsewhere(segment, now):
+        elif self.may_start_flow(segment) and not self.may_be_elsewhere(segment, now):
             self.placing.request_placement(segment, epoch=1)
         else:
             self.look_up(segment, now)
 
-    def starts_flow(self, segment: Segment) -> bool:
+    def may_start_flow(self, segment: Segment) -> bool:
         """Return whether a packet may be the first one of a flow."""
         return segment.opens or not segment.is_tcp
 
@@ -96,7 +96,7 @@
     def closed_flow(self, slot: int, segment: Segment, now: float) -> None:
         """Handle a packet of a key whose last flow is over."""
         state = self.state
-        starts = self.starts_flow(segment)
+        starts = self.may_start_flow(segment)
         if state.is_quarantined(slot, now):
             if starts:
                 state.drop_packet(Refusal.QUARANTINED)
@@ -182,7 +182,7 @@
         ):
             state.take_ownership(slot, "learned-from-replies")
             self.handle_with_record(slot, segment, now)
-        elif self.starts_flow(segment):
+        elif self.may_start_flow(segment):
             self.place_after_search(segment, now, suspect=suspect)
         elif segment.flags & FLAG_RST:
             state.drop_packet(Refusal.FLOW_UNKNOWN)
