--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -49,7 +49,9 @@
         """Handle a packet whose flow this owner does not know."""
         if segment.key in self.state.pending:
             self.placing.handle_pending_packet(segment)
-        elif self.may_start_flow(segment) and not self.may_be_elsewhere(segment, now):
+        elif self.may_start_flow(segment) and not self.record_may_exist_elsewhere(
+            segment, now
+        ):
             self.placing.request_placement(segment, epoch=1)
         else:
             self.look_up(segment, now)
@@ -58,7 +60,7 @@
         """Return whether a packet may be the first one of a flow."""
         return segment.opens or not segment.is_tcp
 
-    def may_be_elsewhere(self, segment: Segment, now: float) -> bool:
+    def record_may_exist_elsewhere(self, segment: Segment, now: float) -> bool:
         """Return whether another VM may hold the record of a flow that starts."""
         settings = self.state.settings
         window = settings.settle_seconds
