Rename placed to handle_placed

It handles the event FlowPlaced.

Rename: libs/flows/src/kumquatmux_flows/callers.py placed handle_placed

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -68,7 +68,7 @@
             window = settings.datagram_seconds
         return now - self.state.ranking.changed_at < window
 
-    def placed(self, event: FlowPlaced, now: float) -> None:
+    def handle_placed(self, event: FlowPlaced, now: float) -> None:
         """Forward what was held of a flow that has a server now."""
         for segment in self.placing.bind_flow(event, now):
             self.handle_with_record(self.state.table.slots[event.key], segment, now)
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -143,7 +143,7 @@
 
     @apply_event.register
     def _(self, event: FlowPlaced, now: float) -> None:
-        self.caller_handler.placed(event, now)
+        self.caller_handler.handle_placed(event, now)
 
     @apply_event.register
     def _(self, event: FlowRefused, now: float) -> None:
