--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -77,7 +77,7 @@
         """Handle a packet of a flow whose record is here."""
         state = self.state
         if not state.server_permitted(slot):
-            self.give_up(slot, segment, now)
+            self.reset_reassigned_flow(slot, segment, now)
         elif state.table.statuses[slot] == FlowStatus.CLOSED:
             self.closed_flow(slot, segment, now)
         elif self.ack_validator.indicates_other_server(slot, segment):
@@ -85,7 +85,7 @@
         else:
             self.forward(slot, segment, now)
 
-    def give_up(self, slot: int, segment: Segment, now: float) -> None:
+    def reset_reassigned_flow(self, slot: int, segment: Segment, now: float) -> None:
         """Reset a flow whose server's address now serves another service."""
         state = self.state
         name = state.service_name_of(slot)
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -94,7 +94,7 @@
         if slot is None:
             self.state.drop_packet(Refusal.SERVICE_UNKNOWN)
         elif not self.state.server_permitted(slot):
-            self.callers.give_up(slot, segment, now)
+            self.callers.reset_reassigned_flow(slot, segment, now)
         elif self.state.server_address_of(slot) != binding.server:
             self.correct(packet, slot)
         else:
