--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -79,7 +79,7 @@
         if not state.server_permitted(slot):
             self.reset_reassigned_flow(slot, segment, now)
         elif state.table.statuses[slot] == FlowStatus.CLOSED:
-            self.closed_flow(slot, segment, now)
+            self.handle_closed_flow(slot, segment, now)
         elif self.ack_validator.indicates_other_server(slot, segment):
             self.look_up(segment, now)
         else:
@@ -95,7 +95,7 @@
         if not segment.flags & FLAG_RST:
             state.refuse_flow(segment, Refusal.SERVER_GONE)
 
-    def closed_flow(self, slot: int, segment: Segment, now: float) -> None:
+    def handle_closed_flow(self, slot: int, segment: Segment, now: float) -> None:
         """Handle a packet of a key whose last flow is over."""
         state = self.state
         starts = self.may_start_flow(segment)
