Rename reset_again to resend_reset

It sends the reset again.

Rename: libs/flows/src/kumquatmux_flows/callers.py reset_again resend_reset

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -103,7 +103,7 @@
             if starts:
                 state.drop_packet(Refusal.QUARANTINED)
             elif state.table.strikes[slot] == WAS_RESET:
-                self.reset_again(segment)
+                self.resend_reset(segment)
             else:
                 state.to_server(slot, segment)
             return
@@ -114,7 +114,7 @@
         else:
             self.look_up(segment, now)
 
-    def reset_again(self, segment: Segment) -> None:
+    def resend_reset(self, segment: Segment) -> None:
         """Repeat a reset that the caller did not take, now with its own numbers."""
         if segment.flags & FLAG_RST:
             self.state.drop_packet(Refusal.SILENT)
