--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -83,7 +83,7 @@
         elif self.ack_validator.indicates_other_server(slot, segment):
             self.look_up(segment, now)
         else:
-            self.forward(slot, segment, now)
+            self.forward_packet(slot, segment, now)
 
     def reset_reassigned_flow(self, slot: int, segment: Segment, now: float) -> None:
         """Reset a flow whose server's address now serves another service."""
@@ -121,7 +121,7 @@
             return
         self.state.actions.append(ResetCaller(segment, Refusal.SILENT))
 
-    def forward(self, slot: int, segment: Segment, now: float) -> None:
+    def forward_packet(self, slot: int, segment: Segment, now: float) -> None:
         """Send a packet to its server, by the backup while that lacks the record."""
         state = self.state
         table = state.table
@@ -232,7 +232,7 @@
         elif status == FlowStatus.HALF_OPEN and self.is_doubtful(slot, segment, now):
             self.state.drop_packet(Refusal.CONFLICT)
         else:
-            self.forward(slot, segment, now)
+            self.forward_packet(slot, segment, now)
 
     def is_doubtful(self, slot: int, segment: Segment, now: float) -> bool:
         """Return whether a packet may be of a handshake with another server.
@@ -253,7 +253,7 @@
         if status == FlowStatus.CLOSED or not self.state.server_permitted(slot):
             self.handle_with_record(slot, segment, now)
         else:
-            self.forward(slot, segment, now)
+            self.forward_packet(slot, segment, now)
 
     def place_after_search(
         self, segment: Segment, now: float, *, suspect: bool
