--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -54,7 +54,7 @@
         ):
             self.placing.request_placement(segment, epoch=1)
         else:
-            self.look_up(segment, now)
+            self.start_lookup(segment, now)
 
     def may_start_flow(self, segment: Segment) -> bool:
         """Return whether a packet may be the first one of a flow."""
@@ -81,7 +81,7 @@
         elif state.table.statuses[slot] == FlowStatus.CLOSED:
             self.handle_closed_flow(slot, segment, now)
         elif self.ack_validator.indicates_other_server(slot, segment):
-            self.look_up(segment, now)
+            self.start_lookup(segment, now)
         else:
             self.forward_packet(slot, segment, now)
 
@@ -112,7 +112,7 @@
         if starts:
             self.placing.request_placement(segment, epoch)
         else:
-            self.look_up(segment, now)
+            self.start_lookup(segment, now)
 
     def resend_reset(self, segment: Segment) -> None:
         """Repeat a reset that the caller did not take, now with its own numbers."""
@@ -137,7 +137,7 @@
             state.to_server(slot, segment)
         self.tracking.track_close(slot, segment, now)
 
-    def look_up(self, segment: Segment, now: float) -> None:
+    def start_lookup(self, segment: Segment, now: float) -> None:
         """Send a packet in search of its record, or decide without."""
         target = self.lookup_target(segment.key, 0, self.state.vm)
         if target is None:
