Rename doubted to disputed_binding

It returns the binding that a lookup confirms or replaces.

Rename: libs/flows/src/kumquatmux_flows/callers.py doubted disputed_binding

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -143,10 +143,12 @@
         if target is None:
             self.unresolved(segment, now)
             return
-        passing = Passing(Stage.LOOKUP, 1, self.doubted(segment), self.state.vm)
+        passing = Passing(
+            Stage.LOOKUP, 1, self.disputed_binding(segment), self.state.vm
+        )
         self.state.actions.append(SendToPeer(target, passing, segment.packet))
 
-    def doubted(self, segment: Segment) -> Binding | None:
+    def disputed_binding(self, segment: Segment) -> Binding | None:
         """Return the record here that a search is to confirm or to replace."""
         state = self.state
         slot = state.table.slots.get(segment.key)
