--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -139,7 +139,7 @@
 
     def start_lookup(self, segment: Segment, now: float) -> None:
         """Send a packet in search of its record, or decide without."""
-        target = self.lookup_target(segment.key, 0, self.state.vm)
+        target = self.next_lookup_vm(segment.key, 0, self.state.vm)
         if target is None:
             self.unresolved(segment, now)
             return
@@ -156,7 +156,7 @@
             return None
         return state.binding_of(slot)
 
-    def lookup_target(self, key: FlowKey, hops: int, origin: VmId) -> VmId | None:
+    def next_lookup_vm(self, key: FlowKey, hops: int, origin: VmId) -> VmId | None:
         """Return the VM that a search visits next, None after the last."""
         state = self.state
         if hops >= state.settings.lookup_hops:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -199,7 +199,7 @@
         state = self.state
         hops = packet.passing.hops
         origin = packet.passing.origin
-        target = self.callers.lookup_target(packet.segment.key, hops, origin)
+        target = self.callers.next_lookup_vm(packet.segment.key, hops, origin)
         stage = Stage.LOOKUP if target is not None else Stage.MISS
         window = state.settings.datagram_seconds
         lost = state.ranking.count_recent_losses(window, now) > 0
