Rename unresolved to handle_lookup_miss

It handles a lookup without result.

Rename: libs/flows/src/kumquatmux_flows/callers.py unresolved handle_lookup_miss

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -141,7 +141,7 @@
         """Send a packet in search of its record, or decide without."""
         target = self.next_lookup_vm(segment.key, 0, self.state.vm)
         if target is None:
-            self.unresolved(segment, now)
+            self.handle_lookup_miss(segment, now)
             return
         passing = Passing(
             Stage.LOOKUP, 1, self.disputed_binding(segment), self.state.vm
@@ -167,7 +167,7 @@
                 return vm
         return None
 
-    def unresolved(
+    def handle_lookup_miss(
         self, segment: Segment, now: float, *, suspect: bool = False
     ) -> None:
         """Decide about a packet whose record nobody has.
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -237,7 +237,7 @@
     def miss(self, packet: PeerPacket, now: float) -> None:
         """Decide about a packet whose record no live VM has."""
         suspect = packet.passing.suspect
-        self.callers.unresolved(packet.segment, now, suspect=suspect)
+        self.callers.handle_lookup_miss(packet.segment, now, suspect=suspect)
 
     def reply_to_owner(self, packet: PeerPacket, now: float) -> None:
         """Handle a reply another VM passed on."""
