--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -190,12 +190,12 @@
             self.place_after_search(segment, now, suspect=suspect)
         elif segment.flags & FLAG_RST:
             state.drop_packet(Refusal.FLOW_UNKNOWN)
-        elif self.unsettled(now) or not self.missed_twice(segment, now):
+        elif self.is_view_unsettled(now) or not self.missed_twice(segment, now):
             state.drop_packet(Refusal.VIEW_UNSETTLED)
         else:
             state.refuse_flow(segment, Refusal.FLOW_UNKNOWN)
 
-    def unsettled(self, now: float) -> bool:
+    def is_view_unsettled(self, now: float) -> bool:
         """Return whether a record may still turn up: never reset a flow too early."""
         settings = self.state.settings
         ranking = self.state.ranking
@@ -243,7 +243,11 @@
         but not while a cut may hide the other record.
         """
         seen = self.state.table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
-        return bool(seen) or self.unsettled(now) or not self.missed_twice(segment, now)
+        return (
+            bool(seen)
+            or self.is_view_unsettled(now)
+            or not self.missed_twice(segment, now)
+        )
 
     def confirmed_by_search(self, slot: int, segment: Segment, now: float) -> None:
         """Go on with a record whose server another VM names too.
