--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -180,7 +180,7 @@
         state = self.state
         slot = state.table.slots.get(segment.key)
         if slot is not None and state.table.roles[slot] != Role.LEARNED:
-            self.after_search(slot, segment, now)
+            self.continue_with_own_record(slot, segment, now)
         elif slot is not None and self.ack_validator.fits_learned_record(
             slot, segment, now
         ):
@@ -224,7 +224,7 @@
         del missed[segment.key]
         return True
 
-    def after_search(self, slot: int, segment: Segment, now: float) -> None:
+    def continue_with_own_record(self, slot: int, segment: Segment, now: float) -> None:
         """Go on with this VM's record after a search found no better one."""
         status = self.state.table.statuses[slot]
         if not self.ack_validator.indicates_other_server(
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -230,7 +230,7 @@
         if self.owns(segment):
             self.state.take_ownership(slot, "found-at-peer")
         if kept:
-            self.callers.after_search(slot, segment, now)
+            self.callers.continue_with_own_record(slot, segment, now)
         else:
             self.callers.confirmed_by_search(slot, segment, now)
 
