--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -231,12 +231,16 @@
             slot, segment
         ) or not self.state.server_permitted(slot):
             self.handle_with_record(slot, segment, now)
-        elif status == FlowStatus.HALF_OPEN and self.is_doubtful(slot, segment, now):
+        elif status == FlowStatus.HALF_OPEN and self.may_belong_to_other_server(
+            slot, segment, now
+        ):
             self.state.drop_packet(Refusal.CONFLICT)
         else:
             self.forward_packet(slot, segment, now)
 
-    def is_doubtful(self, slot: int, segment: Segment, now: float) -> bool:
+    def may_belong_to_other_server(
+        self, slot: int, segment: Segment, now: float
+    ) -> bool:
         """Return whether a packet may be of a handshake with another server.
 
         Without any answer of the server seen here, that is given up after two searches,
