Rename confirmed_by_search to continue_with_confirmed_record

It continues with a confirmed record.

Rename: libs/flows/src/kumquatmux_flows/callers.py confirmed_by_search continue_with_confirmed_record

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -253,7 +253,9 @@
             or not self.missed_twice(segment, now)
         )
 
-    def confirmed_by_search(self, slot: int, segment: Segment, now: float) -> None:
+    def continue_with_confirmed_record(
+        self, slot: int, segment: Segment, now: float
+    ) -> None:
         """Go on with a record whose server another VM names too.
 
         The server's answer may have passed a VM that knew no owner, so that the packet
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -232,7 +232,7 @@
         if kept:
             self.callers.continue_with_own_record(slot, segment, now)
         else:
-            self.callers.confirmed_by_search(slot, segment, now)
+            self.callers.continue_with_confirmed_record(slot, segment, now)
 
     def miss(self, packet: PeerPacket, now: float) -> None:
         """Decide about a packet whose record no live VM has."""
