Rename place_after_search to place_after_lookup

It places a flow after a lookup.

Rename: libs/flows/src/kumquatmux_flows/callers.py place_after_search place_after_lookup

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -187,7 +187,7 @@
             state.take_ownership(slot, "learned-from-replies")
             self.handle_with_record(slot, segment, now)
         elif self.may_start_flow(segment):
-            self.place_after_search(segment, now, suspect=suspect)
+            self.place_after_lookup(segment, now, suspect=suspect)
         elif segment.flags & FLAG_RST:
             state.drop_packet(Refusal.FLOW_UNKNOWN)
         elif self.is_view_unsettled(now) or not self.missed_twice(segment, now):
@@ -267,7 +267,7 @@
         else:
             self.forward_packet(slot, segment, now)
 
-    def place_after_search(
+    def place_after_lookup(
         self, segment: Segment, now: float, *, suspect: bool
     ) -> None:
         """Place a flow that nobody knows, unless its record may have been lost."""
