Rename CallerPath to CallerPacketHandler

It handles packets of callers.

Rename: libs/flows/src/kumquatmux_flows/callers.py CallerPath CallerPacketHandler

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -26,7 +26,7 @@
 LIFECYCLE_FLAGS = FLAG_SYN | FLAG_FIN | FLAG_RST
 
 
-class CallerPath:
+class CallerPacketHandler:
     """Forwards open flows and looks for lost records."""
 
     def __init__(self, state: FlowState, silence: Silence) -> None:
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -7,7 +7,7 @@
 
 from kumquatmux_core.identity import FlowKey, VmId, ZoneName
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
-from kumquatmux_flows.callers import CallerPath
+from kumquatmux_flows.callers import CallerPacketHandler
 from kumquatmux_flows.events import (
     Action,
     CallerPacket,
@@ -66,7 +66,7 @@
         self.settings = settings
         self.state = FlowState(vm, settings, random)
         self.silence_detector = Silence(self.state)
-        self.caller_handler = CallerPath(self.state, self.silence_detector)
+        self.caller_handler = CallerPacketHandler(self.state, self.silence_detector)
         self.reply_handler = ReplyPath(
             self.state, self.caller_handler, self.silence_detector
         )
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, Segment
-from kumquatmux_flows.callers import CallerPath
+from kumquatmux_flows.callers import CallerPacketHandler
 from kumquatmux_flows.events import Binding, Passing, PeerPacket, SendToPeer, Stage
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.replies import ReplyPath
@@ -17,7 +17,7 @@
     """Stores second copies, answers searches and corrects owners that moved."""
 
     def __init__(
-        self, state: FlowState, callers: CallerPath, replies: ReplyPath
+        self, state: FlowState, callers: CallerPacketHandler, replies: ReplyPath
     ) -> None:
         self.state = state
         self.callers = callers
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -6,7 +6,7 @@
 
 from kumquatmux_core.identity import Address
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN, Segment
-from kumquatmux_flows.callers import CallerPath
+from kumquatmux_flows.callers import CallerPacketHandler
 from kumquatmux_flows.events import Binding, Passing, SendToCaller, SendToPeer, Stage
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.silence import Silence
@@ -20,7 +20,9 @@
 class ReplyPath:
     """Learns flows from replies and lets the owner see the first answers."""
 
-    def __init__(self, state: FlowState, callers: CallerPath, silence: Silence) -> None:
+    def __init__(
+        self, state: FlowState, callers: CallerPacketHandler, silence: Silence
+    ) -> None:
         self.state = state
         self.silence = silence
         self.callers = callers
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -5,7 +5,7 @@
 from kumquatmux_core.identity import FlowKey, VmId
 from kumquatmux_core.segments import PROTOCOL_TCP
 from kumquatmux_flows.batches import Batches
-from kumquatmux_flows.callers import CallerPath
+from kumquatmux_flows.callers import CallerPacketHandler
 from kumquatmux_flows.events import (
     Quiet,
 )
@@ -31,7 +31,9 @@
         due: Slots that should have been looked at by now.
     """
 
-    def __init__(self, state: FlowState, callers: CallerPath, silence: Silence) -> None:
+    def __init__(
+        self, state: FlowState, callers: CallerPacketHandler, silence: Silence
+    ) -> None:
         self.state = state
         self.silence = silence
         self.callers = callers
