--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -25,7 +25,7 @@
     ) -> None:
         self.state = state
         self.silence = silence
-        self.callers = callers
+        self.caller_handler = callers
 
     def arrive(self, segment: Segment, server: Address, now: float) -> None:
         """Handle a reply straight from the fabric."""
@@ -169,7 +169,7 @@
         if segment.flags & FLAG_ACK:
             self.silence.answered(slot, segment.ack, now)
         if segment.flags & FLAG_ACK or not segment.is_tcp:
-            self.callers.copies.confirm_backup(slot, segment.ack)
+            self.caller_handler.copies.confirm_backup(slot, segment.ack)
         if segment.payload_length:
             state.finish_work(slot)
         if segment.flags & ENDING_FLAGS:
@@ -184,8 +184,8 @@
             state.close_flow(slot, "reset-by-server", now)
         else:
             state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
-            self.callers.tracking.handle_fin(slot, now)
-        backup = self.callers.copies.backup_vm_of(slot)
+            self.caller_handler.tracking.handle_fin(slot, now)
+        backup = self.caller_handler.copies.backup_vm_of(slot)
         if backup is None:
             self.to_caller(segment)
             return
@@ -202,7 +202,7 @@
                 state.close_flow(slot, "reset-by-server", now)
             else:
                 state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
-                self.callers.tracking.handle_fin(slot, now)
+                self.caller_handler.tracking.handle_fin(slot, now)
         self.to_caller(segment)
 
     def to_caller(self, segment: Segment) -> None:
