--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -21,11 +21,11 @@
     """Learns flows from replies and lets the owner see the first answers."""
 
     def __init__(
-        self, state: FlowState, callers: CallerPacketHandler, silence: Silence
+        self, state: FlowState, caller_handler: CallerPacketHandler, silence: Silence
     ) -> None:
         self.state = state
         self.silence = silence
-        self.caller_handler = callers
+        self.caller_handler = caller_handler
 
     def arrive(self, segment: Segment, server: Address, now: float) -> None:
         """Handle a reply straight from the fabric."""
