--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -20,7 +20,7 @@
         self, state: FlowState, callers: CallerPacketHandler, replies: ReplyPath
     ) -> None:
         self.state = state
-        self.callers = callers
+        self.caller_handler = callers
         self.replies = replies
         self.stages = {
             Stage.TO_OWNER: self.to_owner,
@@ -60,7 +60,7 @@
         owner = self.state.ranking.owner_of(packet.segment.key)
         named = owner in (self.state.vm, packet.sender)
         if named or self.holds(packet.segment):
-            self.callers.handle_packet(packet.segment, now)
+            self.caller_handler.handle_packet(packet.segment, now)
             return
         self.state.drop_packet(Refusal.HOP_LIMIT)
 
@@ -90,11 +90,13 @@
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
             return
         segment = packet.segment
-        slot = self.callers.bindings.store_binding(binding, segment, Role.BACKUP, now)
+        slot = self.caller_handler.bindings.store_binding(
+            binding, segment, Role.BACKUP, now
+        )
         if slot is None:
             self.state.drop_packet(Refusal.SERVICE_UNKNOWN)
         elif not self.state.server_permitted(slot):
-            self.callers.reset_reassigned_flow(slot, segment, now)
+            self.caller_handler.reset_reassigned_flow(slot, segment, now)
         elif self.state.server_address_of(slot) != binding.server:
             self.correct(packet, slot)
         else:
@@ -113,7 +115,7 @@
             state.close_flow(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
             table.flow_flags[slot] |= FlowFlag.CALLER_FIN
-            self.callers.tracking.handle_fin(slot, now)
+            self.caller_handler.tracking.handle_fin(slot, now)
 
     def follow(self, slot: int, segment: Segment, now: float) -> None:
         """Note what a stored packet shows of its flow."""
@@ -170,9 +172,11 @@
         if state.table.statuses[slot] == FlowStatus.CLOSED:
             return None
         if state.table.roles[slot] == Role.LEARNED:
-            fits = self.callers.ack_validator.fits_learned_record(slot, segment, now)
+            fits = self.caller_handler.ack_validator.fits_learned_record(
+                slot, segment, now
+            )
             return state.binding_of(slot)._replace(epoch=0) if fits else None
-        if self.callers.ack_validator.indicates_other_server(slot, segment):
+        if self.caller_handler.ack_validator.indicates_other_server(slot, segment):
             return None
         half_open = state.table.statuses[slot] == FlowStatus.HALF_OPEN
         if (
@@ -199,7 +203,7 @@
         state = self.state
         hops = packet.passing.hops
         origin = packet.passing.origin
-        target = self.callers.next_lookup_vm(packet.segment.key, hops, origin)
+        target = self.caller_handler.next_lookup_vm(packet.segment.key, hops, origin)
         stage = Stage.LOOKUP if target is not None else Stage.MISS
         window = state.settings.datagram_seconds
         lost = state.ranking.count_recent_losses(window, now) > 0
@@ -215,7 +219,7 @@
         segment = packet.segment
         slot = None
         if binding is not None:
-            slot = self.callers.bindings.store_binding(
+            slot = self.caller_handler.bindings.store_binding(
                 binding, segment, Role.OWNER, now
             )
         if slot is None:
@@ -230,14 +234,14 @@
         if self.owns(segment):
             self.state.take_ownership(slot, "found-at-peer")
         if kept:
-            self.callers.continue_with_own_record(slot, segment, now)
+            self.caller_handler.continue_with_own_record(slot, segment, now)
         else:
-            self.callers.continue_with_confirmed_record(slot, segment, now)
+            self.caller_handler.continue_with_confirmed_record(slot, segment, now)
 
     def miss(self, packet: PeerPacket, now: float) -> None:
         """Decide about a packet whose record no live VM has."""
         suspect = packet.passing.suspect
-        self.callers.handle_lookup_miss(packet.segment, now, suspect=suspect)
+        self.caller_handler.handle_lookup_miss(packet.segment, now, suspect=suspect)
 
     def reply_to_owner(self, packet: PeerPacket, now: float) -> None:
         """Handle a reply another VM passed on."""
