--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -17,10 +17,10 @@
     """Stores second copies, answers searches and corrects owners that moved."""
 
     def __init__(
-        self, state: FlowState, callers: CallerPacketHandler, replies: ReplyPath
+        self, state: FlowState, caller_handler: CallerPacketHandler, replies: ReplyPath
     ) -> None:
         self.state = state
-        self.caller_handler = callers
+        self.caller_handler = caller_handler
         self.replies = replies
         self.stages = {
             Stage.TO_OWNER: self.to_owner,
