--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -21,7 +21,7 @@
     ) -> None:
         self.state = state
         self.caller_handler = caller_handler
-        self.replies = replies
+        self.reply_handler = replies
         self.stages = {
             Stage.TO_OWNER: self.to_owner,
             Stage.STORE: self.store,
@@ -249,7 +249,7 @@
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
         elif not self.pass_to_owner(packet):
-            self.replies.own(packet.segment, binding.server, now)
+            self.reply_handler.own(packet.segment, binding.server, now)
 
     def reply_close(self, packet: PeerPacket, now: float) -> None:
         """Handle the end of a flow as its backup."""
@@ -257,4 +257,4 @@
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
             return
-        self.replies.close_copy(packet.segment, binding, now)
+        self.reply_handler.close_copy(packet.segment, binding, now)
