--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -17,11 +17,14 @@
     """Stores second copies, answers searches and corrects owners that moved."""
 
     def __init__(
-        self, state: FlowState, caller_handler: CallerPacketHandler, replies: ReplyPath
+        self,
+        state: FlowState,
+        caller_handler: CallerPacketHandler,
+        reply_handler: ReplyPath,
     ) -> None:
         self.state = state
         self.caller_handler = caller_handler
-        self.reply_handler = replies
+        self.reply_handler = reply_handler
         self.stages = {
             Stage.TO_OWNER: self.to_owner,
             Stage.STORE: self.store,
