--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -36,7 +36,7 @@
     ) -> None:
         self.state = state
         self.silence = silence
-        self.callers = callers
+        self.caller_handler = callers
         self.batches = Batches(state, callers.bindings, silence)
         self.cursor = 0
         self.due = 0.0
@@ -181,7 +181,7 @@
         """Give the backup a record that no packet has brought to it."""
         state = self.state
         table = state.table
-        backup = self.callers.copies.backup_vm_of(slot)
+        backup = self.caller_handler.copies.backup_vm_of(slot)
         if backup is None:
             return
         if self.state.idle_seconds(slot, now) < SILENT_BEFORE_REPAIR_SECONDS:
