--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -32,12 +32,12 @@
     """
 
     def __init__(
-        self, state: FlowState, callers: CallerPacketHandler, silence: Silence
+        self, state: FlowState, caller_handler: CallerPacketHandler, silence: Silence
     ) -> None:
         self.state = state
         self.silence = silence
-        self.caller_handler = callers
-        self.batches = Batches(state, callers.bindings, silence)
+        self.caller_handler = caller_handler
+        self.batches = Batches(state, caller_handler.bindings, silence)
         self.cursor = 0
         self.due = 0.0
         self.last = float("-inf")
