--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -13,7 +13,7 @@
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import FlowFlag, FlowStatus, Role, next_seq, seq_after
 
-ENDING_FLAGS = FLAG_FIN | FLAG_RST
+CLOSE_FLAGS = FLAG_FIN | FLAG_RST
 STALE_ORDER_FACTOR = 2
 
 
@@ -74,7 +74,7 @@
         """Add a learned record, the oldest goes when there are too many."""
         state = self.state
         service = state.current_service_of(segment.key)
-        if service is None or segment.flags & ENDING_FLAGS:
+        if service is None or segment.flags & CLOSE_FLAGS:
             return
         if not state.routes.permits(number, service):
             return
@@ -116,7 +116,7 @@
         opening = segment.flags & (FLAG_SYN | FLAG_RST)
         if not opening and table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = FlowStatus.ESTABLISHED
-        if segment.flags & ENDING_FLAGS and table.roles[slot] == Role.LEARNED:
+        if segment.flags & CLOSE_FLAGS and table.roles[slot] == Role.LEARNED:
             table.remove(slot)
 
     def advance(self, slot: int, segment: Segment) -> None:
@@ -172,7 +172,7 @@
             self.caller_handler.copies.confirm_backup(slot, segment.ack)
         if segment.payload_length:
             state.finish_work(slot)
-        if segment.flags & ENDING_FLAGS:
+        if segment.flags & CLOSE_FLAGS:
             self.end(slot, segment, now)
         else:
             self.to_caller(segment)
