--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -14,7 +14,7 @@
 from kumquatmux_flows.table import FlowFlag, FlowStatus, Role, next_seq, seq_after
 
 CLOSE_FLAGS = FLAG_FIN | FLAG_RST
-STALE_ORDER_FACTOR = 2
+LEARNED_KEYS_FACTOR = 2
 
 
 class ReplyPath:
@@ -96,7 +96,7 @@
             slot = table.slots.get(order.popleft())
             if slot is not None and table.roles[slot] == Role.LEARNED:
                 table.remove(slot)
-        if len(order) > STALE_ORDER_FACTOR * state.settings.learned_limit:
+        if len(order) > LEARNED_KEYS_FACTOR * state.settings.learned_limit:
             state.learned_keys = deque(dict.fromkeys(filter(self.is_learned, order)))
 
     def is_learned(self, key: object) -> bool:
