--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -114,7 +114,7 @@
     @apply_event.register
     def _(self, event: ServerPacket, now: float) -> None:
         self.state.last_packet_time = now
-        self.reply_handler.arrive(event.segment, event.server, now)
+        self.reply_handler.handle_from_fabric(event.segment, event.server, now)
 
     @apply_event.register
     def _(self, event: PeerPacket, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -27,7 +27,7 @@
         self.silence = silence
         self.caller_handler = caller_handler
 
-    def arrive(self, segment: Segment, server: Address, now: float) -> None:
+    def handle_from_fabric(self, segment: Segment, server: Address, now: float) -> None:
         """Handle a reply straight from the fabric."""
         owner = self.state.ranking.owner_of(segment.key)
         if owner == self.state.vm or owner is None:
