--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -33,12 +33,12 @@
         if owner == self.state.vm or owner is None:
             self.own(segment, server, now)
             return
-        if not self.learn(segment, server, now):
+        if not self.learn_flow(segment, server, now):
             return
         passing = Passing(Stage.REPLY_TO_OWNER, 1, Binding(server, 0, 0))
         self.state.actions.append(SendToPeer(owner, passing, segment.packet))
 
-    def learn(self, segment: Segment, server: Address, now: float) -> bool:
+    def learn_flow(self, segment: Segment, server: Address, now: float) -> bool:
         """Keep what a reply shows of its flow.
 
         Returns:
@@ -151,7 +151,7 @@
         if service is None or not state.routes.permits(number, service):
             state.drop_packet(Refusal.SERVICE_CROSSED)
             return
-        self.learn(segment, server, now)
+        self.learn_flow(segment, server, now)
         self.to_caller(segment)
 
     def crossed(self, slot: int, segment: Segment) -> None:
