--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -47,7 +47,7 @@
         """
         state = self.state
         table = state.table
-        number = self.number_of(segment, server)
+        number = self.server_number_of(segment, server)
         slot = table.slots.get(segment.key)
         if slot is None:
             self.add_learned(segment, number, now)
@@ -60,7 +60,7 @@
             self.note_reply(slot, segment, now)
         return True
 
-    def number_of(self, segment: Segment, server: Address) -> int:
+    def server_number_of(self, segment: Segment, server: Address) -> int:
         """Return the number of the server a reply is from."""
         routes = self.state.routes
         number = routes.server_numbers.get(server)
@@ -132,7 +132,7 @@
         """Handle a reply as the owner of its flow."""
         state = self.state
         table = state.table
-        number = self.number_of(segment, server)
+        number = self.server_number_of(segment, server)
         slot = table.slots.get(segment.key)
         if slot is None or table.roles[slot] == Role.LEARNED:
             self.without_record(segment, server, now)
