--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -50,11 +50,11 @@
         number = self.server_number_of(segment, server)
         slot = table.slots.get(segment.key)
         if slot is None:
-            self.add_learned(segment, number, now)
+            self.add_learned_record(segment, number, now)
             return True
         if table.roles[slot] == Role.LEARNED and table.servers[slot] != number:
             table.remove(slot)
-            self.add_learned(segment, number, now)
+            self.add_learned_record(segment, number, now)
             return True
         if table.servers[slot] == number:
             self.note_reply(slot, segment, now)
@@ -70,7 +70,7 @@
             number = routes.server(server, name)  # type: ignore[arg-type]
         return number
 
-    def add_learned(self, segment: Segment, number: int, now: float) -> None:
+    def add_learned_record(self, segment: Segment, number: int, now: float) -> None:
         """Add a learned record, the oldest goes when there are too many."""
         state = self.state
         service = state.current_service_of(segment.key)
