--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -80,14 +80,14 @@
             return
         if state.settings.learned_limit <= 0:
             return
-        self.make_room()
+        self.evict_learned_records()
         slot = state.table.add(segment.key, Role.LEARNED, number, service)
         state.learned_keys.append(segment.key)
         if not segment.is_tcp:
             state.table.statuses[slot] = FlowStatus.UDP_ACTIVE
         self.note_reply(slot, segment, now)
 
-    def make_room(self) -> None:
+    def evict_learned_records(self) -> None:
         """Drop the oldest learned record when the cache is full."""
         state = self.state
         table = state.table
