--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -97,9 +97,11 @@
             if slot is not None and table.roles[slot] == Role.LEARNED:
                 table.remove(slot)
         if len(order) > LEARNED_KEYS_FACTOR * state.settings.learned_limit:
-            state.learned_keys = deque(dict.fromkeys(filter(self.is_learned, order)))
+            state.learned_keys = deque(
+                dict.fromkeys(filter(self.has_learned_record, order))
+            )
 
-    def is_learned(self, key: object) -> bool:
+    def has_learned_record(self, key: object) -> bool:
         """Return whether a key still has a learned record."""
         slot = self.state.table.slots.get(key)  # type: ignore[call-overload]
         return slot is not None and self.state.table.roles[slot] == Role.LEARNED
