Rename note_reply to update_from_reply

It updates a record from a reply.

Rename: libs/flows/src/kumquatmux_flows/replies.py note_reply update_from_reply

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -57,7 +57,7 @@
             self.add_learned_record(segment, number, now)
             return True
         if table.servers[slot] == number:
-            self.note_reply(slot, segment, now)
+            self.update_from_reply(slot, segment, now)
         return True
 
     def server_number_of(self, segment: Segment, server: Address) -> int:
@@ -85,7 +85,7 @@
         state.learned_keys.append(segment.key)
         if not segment.is_tcp:
             state.table.statuses[slot] = FlowStatus.UDP_ACTIVE
-        self.note_reply(slot, segment, now)
+        self.update_from_reply(slot, segment, now)
 
     def evict_learned_records(self) -> None:
         """Drop the oldest learned record when the cache is full."""
@@ -106,7 +106,7 @@
         slot = self.state.table.slots.get(key)  # type: ignore[call-overload]
         return slot is not None and self.state.table.roles[slot] == Role.LEARNED
 
-    def note_reply(self, slot: int, segment: Segment, now: float) -> None:
+    def update_from_reply(self, slot: int, segment: Segment, now: float) -> None:
         """Follow a reply on a VM that does not own its flow."""
         table = self.state.table
         table.reply_times[slot] = now
