--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -112,7 +112,7 @@
         table.reply_times[slot] = now
         if not segment.is_tcp:
             return
-        self.advance(slot, segment)
+        self.advance_server_next(slot, segment)
         if segment.flags & FLAG_ACK and table.roles[slot] != Role.OWNER:
             table.server_acks[slot] = segment.ack
         opening = segment.flags & (FLAG_SYN | FLAG_RST)
@@ -121,7 +121,7 @@
         if segment.flags & CLOSE_FLAGS and table.roles[slot] == Role.LEARNED:
             table.remove(slot)
 
-    def advance(self, slot: int, segment: Segment) -> None:
+    def advance_server_next(self, slot: int, segment: Segment) -> None:
         """Move the next sequence number of the server forward."""
         table = self.state.table
         end = next_seq(segment)
@@ -167,7 +167,7 @@
         table = state.table
         table.reply_times[slot] = now
         if not table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN and segment.is_tcp:
-            self.advance(slot, segment)
+            self.advance_server_next(slot, segment)
         if segment.flags & FLAG_ACK:
             self.silence.answered(slot, segment.ack, now)
         if segment.flags & FLAG_ACK or not segment.is_tcp:
