Rename own to handle_as_owner

It handles a reply as the owner.

Rename: libs/flows/src/kumquatmux_flows/replies.py own handle_as_owner

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -252,7 +252,7 @@
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
         elif not self.pass_to_owner(packet):
-            self.reply_handler.own(packet.segment, binding.server, now)
+            self.reply_handler.handle_as_owner(packet.segment, binding.server, now)
 
     def reply_close(self, packet: PeerPacket, now: float) -> None:
         """Handle the end of a flow as its backup."""
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -31,7 +31,7 @@
         """Handle a reply straight from the fabric."""
         owner = self.state.ranking.owner_of(segment.key)
         if owner == self.state.vm or owner is None:
-            self.own(segment, server, now)
+            self.handle_as_owner(segment, server, now)
             return
         if not self.learn_flow(segment, server, now):
             return
@@ -130,7 +130,7 @@
             table.server_nexts[slot] = end
             table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
 
-    def own(self, segment: Segment, server: Address, now: float) -> None:
+    def handle_as_owner(self, segment: Segment, server: Address, now: float) -> None:
         """Handle a reply as the owner of its flow."""
         state = self.state
         table = state.table
