--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -137,7 +137,7 @@
         number = self.server_number_of(segment, server)
         slot = table.slots.get(segment.key)
         if slot is None or table.roles[slot] == Role.LEARNED:
-            self.without_record(segment, server, now)
+            self.handle_without_record(segment, server, now)
         elif table.servers[slot] != number:
             self.crossed(slot, segment)
         elif not state.server_permitted(slot):
@@ -145,7 +145,9 @@
         else:
             self.answer(slot, segment, now)
 
-    def without_record(self, segment: Segment, server: Address, now: float) -> None:
+    def handle_without_record(
+        self, segment: Segment, server: Address, now: float
+    ) -> None:
         """Pass on a reply whose flow has no record here, and learn it."""
         state = self.state
         service = state.current_service_of(segment.key)
