Rename crossed to drop_crossed_reply

It drops a reply of another server.

Rename: libs/flows/src/kumquatmux_flows/replies.py crossed drop_crossed_reply

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -139,7 +139,7 @@
         if slot is None or table.roles[slot] == Role.LEARNED:
             self.handle_without_record(segment, server, now)
         elif table.servers[slot] != number:
-            self.crossed(slot, segment)
+            self.drop_crossed_reply(slot, segment)
         elif not state.server_permitted(slot):
             state.drop_packet(Refusal.SERVICE_CROSSED)
         else:
@@ -158,7 +158,7 @@
         self.learn_flow(segment, server, now)
         self.to_caller(segment)
 
-    def crossed(self, slot: int, segment: Segment) -> None:
+    def drop_crossed_reply(self, slot: int, segment: Segment) -> None:
         """Drop a reply of another server than the flow's own."""
         self.state.drop_packet(Refusal.REPLY_CROSSED)
         self.state.log_record("reply-dropped", slot, Refusal.REPLY_CROSSED)
