Rename answer to handle_server_reply

It handles a reply of the flow's server.

Rename: libs/flows/src/kumquatmux_flows/replies.py answer handle_server_reply

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -143,7 +143,7 @@
         elif not state.server_permitted(slot):
             state.drop_packet(Refusal.SERVICE_CROSSED)
         else:
-            self.answer(slot, segment, now)
+            self.handle_server_reply(slot, segment, now)
 
     def handle_without_record(
         self, segment: Segment, server: Address, now: float
@@ -163,7 +163,7 @@
         self.state.drop_packet(Refusal.REPLY_CROSSED)
         self.state.log_record("reply-dropped", slot, Refusal.REPLY_CROSSED)
 
-    def answer(self, slot: int, segment: Segment, now: float) -> None:
+    def handle_server_reply(self, slot: int, segment: Segment, now: float) -> None:
         """Follow a reply of the flow's own server and pass it on."""
         state = self.state
         table = state.table
