Rename end to handle_server_close

It handles a FIN or RST of the server.

Rename: libs/flows/src/kumquatmux_flows/replies.py end handle_server_close

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -177,11 +177,11 @@
         if segment.payload_length:
             state.finish_work(slot)
         if segment.flags & CLOSE_FLAGS:
-            self.end(slot, segment, now)
+            self.handle_server_close(slot, segment, now)
         else:
             self.to_caller(segment)
 
-    def end(self, slot: int, segment: Segment, now: float) -> None:
+    def handle_server_close(self, slot: int, segment: Segment, now: float) -> None:
         """Follow the end a server gives to a flow, and let the backup see it."""
         state = self.state
         if segment.flags & FLAG_RST:
