Rename close_copy to close_as_backup

It closes the record at the backup.

Rename: libs/flows/src/kumquatmux_flows/replies.py close_copy close_as_backup

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -260,4 +260,4 @@
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
             return
-        self.reply_handler.close_copy(packet.segment, binding, now)
+        self.reply_handler.close_as_backup(packet.segment, binding, now)
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -196,7 +196,7 @@
         passing = Passing(Stage.REPLY_CLOSE, 0, state.binding_of(slot))
         state.actions.append(SendToPeer(backup, passing, segment.packet))
 
-    def close_copy(self, segment: Segment, binding: Binding, now: float) -> None:
+    def close_as_backup(self, segment: Segment, binding: Binding, now: float) -> None:
         """Follow, as the backup, the end a server gives to a flow."""
         state = self.state
         slot = state.table.slots.get(segment.key)
