Rename to_caller to send_to_caller

It sends a reply to the caller.

Rename: libs/flows/src/kumquatmux_flows/replies.py to_caller send_to_caller

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -156,7 +156,7 @@
             state.drop_packet(Refusal.SERVICE_CROSSED)
             return
         self.learn_flow(segment, server, now)
-        self.to_caller(segment)
+        self.send_to_caller(segment)
 
     def drop_crossed_reply(self, slot: int, segment: Segment) -> None:
         """Drop a reply of another server than the flow's own."""
@@ -179,7 +179,7 @@
         if segment.flags & CLOSE_FLAGS:
             self.handle_server_close(slot, segment, now)
         else:
-            self.to_caller(segment)
+            self.send_to_caller(segment)
 
     def handle_server_close(self, slot: int, segment: Segment, now: float) -> None:
         """Follow the end a server gives to a flow, and let the backup see it."""
@@ -191,7 +191,7 @@
             self.caller_handler.tracking.handle_fin(slot, now)
         backup = self.caller_handler.copies.backup_vm_of(slot)
         if backup is None:
-            self.to_caller(segment)
+            self.send_to_caller(segment)
             return
         passing = Passing(Stage.REPLY_CLOSE, 0, state.binding_of(slot))
         state.actions.append(SendToPeer(backup, passing, segment.packet))
@@ -207,9 +207,9 @@
             else:
                 state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
                 self.caller_handler.tracking.handle_fin(slot, now)
-        self.to_caller(segment)
+        self.send_to_caller(segment)
 
-    def to_caller(self, segment: Segment) -> None:
+    def send_to_caller(self, segment: Segment) -> None:
         """Send a reply to its caller from the service address."""
         key = segment.key
         service = Address(key[5:9] + key[11:13])
