--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -29,7 +29,7 @@
 from kumquatmux_flows.evidence import NARROW_ACK_WINDOW_BYTES
 from kumquatmux_flows.messages import BatchStored, RecordBatch
 from kumquatmux_flows.peers import PeerPath
-from kumquatmux_flows.replies import ReplyPath
+from kumquatmux_flows.replies import ReplyHandler
 from kumquatmux_flows.settings import FlowSettings
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
@@ -67,7 +67,7 @@
         self.state = FlowState(vm, settings, random)
         self.silence_detector = Silence(self.state)
         self.caller_handler = CallerPacketHandler(self.state, self.silence_detector)
-        self.reply_handler = ReplyPath(
+        self.reply_handler = ReplyHandler(
             self.state, self.caller_handler, self.silence_detector
         )
         self.peer_handler = PeerPath(
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -6,7 +6,7 @@
 from kumquatmux_flows.callers import CallerPacketHandler
 from kumquatmux_flows.events import Binding, Passing, PeerPacket, SendToPeer, Stage
 from kumquatmux_flows.refusals import Refusal
-from kumquatmux_flows.replies import ReplyPath
+from kumquatmux_flows.replies import ReplyHandler
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
@@ -20,7 +20,7 @@
         self,
         state: FlowState,
         caller_handler: CallerPacketHandler,
-        reply_handler: ReplyPath,
+        reply_handler: ReplyHandler,
     ) -> None:
         self.state = state
         self.caller_handler = caller_handler
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -17,7 +17,7 @@
 LEARNED_KEYS_FACTOR = 2
 
 
-class ReplyPath:
+class ReplyHandler:
     """Learns flows from replies and lets the owner see the first answers."""
 
     def __init__(
