Rename CORRECTED to CORRECTION_HOPS

It is the hop count that marks a correction.

Rename: libs/flows/src/kumquatmux_flows/peers.py CORRECTED CORRECTION_HOPS

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -10,7 +10,7 @@
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
-CORRECTED = 1
+CORRECTION_HOPS = 1
 
 
 class PeerPath:
@@ -139,7 +139,7 @@
 
     def correct(self, packet: PeerPacket, slot: int) -> None:
         """Give an owner the better record this VM has, with its packet."""
-        passing = Passing(Stage.ADOPT, CORRECTED, self.state.binding_of(slot))
+        passing = Passing(Stage.ADOPT, CORRECTION_HOPS, self.state.binding_of(slot))
         peer = SendToPeer(packet.sender, passing, packet.segment.packet)
         self.state.actions.append(peer)
 
@@ -231,7 +231,7 @@
         kept = (
             binding is not None and self.state.server_address_of(slot) != binding.server
         )
-        if kept and packet.passing.hops == CORRECTED:
+        if kept and packet.passing.hops == CORRECTION_HOPS:
             self.state.drop_packet(Refusal.CONFLICT)
             return
         if self.owns(segment):
