Rename stages to stage_handlers

It maps a stage to its handler.

Rename: libs/flows/src/kumquatmux_flows/peers.py stages stage_handlers

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -25,7 +25,7 @@
         self.state = state
         self.caller_handler = caller_handler
         self.reply_handler = reply_handler
-        self.stages = {
+        self.stage_handlers = {
             Stage.TO_OWNER: self.to_owner,
             Stage.STORE: self.store,
             Stage.LOOKUP: self.look_up,
@@ -37,7 +37,7 @@
 
     def take(self, packet: PeerPacket, now: float) -> None:
         """Handle a packet by its stage."""
-        self.stages[packet.passing.stage](packet, now)
+        self.stage_handlers[packet.passing.stage](packet, now)
 
     def pass_to_owner(self, packet: PeerPacket) -> bool:
         """Pass a packet on if another VM owns its flow; return whether it was.
