--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -119,7 +119,7 @@
     @apply_event.register
     def _(self, event: PeerPacket, now: float) -> None:
         self.state.last_packet_time = now
-        self.peer_handler.take(event, now)
+        self.peer_handler.handle_packet(event, now)
 
     @apply_event.register
     def _(self, event: PeerMessage, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -35,7 +35,7 @@
             Stage.REPLY_CLOSE: self.reply_close,
         }
 
-    def take(self, packet: PeerPacket, now: float) -> None:
+    def handle_packet(self, packet: PeerPacket, now: float) -> None:
         """Handle a packet by its stage."""
         self.stage_handlers[packet.passing.stage](packet, now)
 
