Rename pass_to_owner to forward_to_owner

It forwards a packet to the owner.

Rename: libs/flows/src/kumquatmux_flows/peers.py pass_to_owner forward_to_owner

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -39,7 +39,7 @@
         """Handle a packet by its stage."""
         self.stage_handlers[packet.passing.stage](packet, now)
 
-    def pass_to_owner(self, packet: PeerPacket) -> bool:
+    def forward_to_owner(self, packet: PeerPacket) -> bool:
         """Pass a packet on if another VM owns its flow; return whether it was.
 
         A packet from the VM that this one takes for the owner stays: that VM knows
@@ -57,7 +57,7 @@
 
     def to_owner(self, packet: PeerPacket, now: float) -> None:
         """Handle a caller's packet that a VM without its record passed on."""
-        if self.pass_to_owner(packet):
+        if self.forward_to_owner(packet):
             self.note_moved(packet.segment)
             return
         owner = self.state.ranking.owner_of(packet.segment.key)
@@ -251,7 +251,7 @@
         binding = packet.passing.binding
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
-        elif not self.pass_to_owner(packet):
+        elif not self.forward_to_owner(packet):
             self.reply_handler.handle_as_owner(packet.segment, binding.server, now)
 
     def reply_close(self, packet: PeerPacket, now: float) -> None:
