Rename to_owner to handle_to_owner

It handles the stage TO_OWNER.

Rename: libs/flows/src/kumquatmux_flows/peers.py to_owner handle_to_owner

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -26,7 +26,7 @@
         self.caller_handler = caller_handler
         self.reply_handler = reply_handler
         self.stage_handlers = {
-            Stage.TO_OWNER: self.to_owner,
+            Stage.TO_OWNER: self.handle_to_owner,
             Stage.STORE: self.store,
             Stage.LOOKUP: self.look_up,
             Stage.ADOPT: self.adopt,
@@ -55,7 +55,7 @@
         state.actions.append(SendToPeer(owner, passing, packet.segment.packet))
         return True
 
-    def to_owner(self, packet: PeerPacket, now: float) -> None:
+    def handle_to_owner(self, packet: PeerPacket, now: float) -> None:
         """Handle a caller's packet that a VM without its record passed on."""
         if self.forward_to_owner(packet):
             self.note_moved(packet.segment)
