--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -58,7 +58,7 @@
     def handle_to_owner(self, packet: PeerPacket, now: float) -> None:
         """Handle a caller's packet that a VM without its record passed on."""
         if self.forward_to_owner(packet):
-            self.note_moved(packet.segment)
+            self.request_view_refresh(packet.segment)
             return
         owner = self.state.ranking.owner_of(packet.segment.key)
         named = owner in (self.state.vm, packet.sender)
@@ -67,7 +67,7 @@
             return
         self.state.drop_packet(Refusal.HOP_LIMIT)
 
-    def note_moved(self, segment: Segment) -> None:
+    def request_view_refresh(self, segment: Segment) -> None:
         """Ask for a fresh view: a peer took this VM for an owner it is not."""
         state = self.state
         service = state.current_service_of(segment.key)
