Rename owns to owns_flow

It tells whether this VM owns the flow.

Rename: libs/flows/src/kumquatmux_flows/peers.py owns owns_flow

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -77,7 +77,7 @@
             Refusal.OWNER_MOVED, state.routes.service_names[service], None
         )
 
-    def owns(self, segment: Segment) -> bool:
+    def owns_flow(self, segment: Segment) -> bool:
         """Return whether this VM owns a packet's flow."""
         return self.state.ranking.owner_of(segment.key) == self.state.vm
 
@@ -234,7 +234,7 @@
         if kept and packet.passing.hops == CORRECTION_HOPS:
             self.state.drop_packet(Refusal.CONFLICT)
             return
-        if self.owns(segment):
+        if self.owns_flow(segment):
             self.state.take_ownership(slot, "found-at-peer")
         if kept:
             self.caller_handler.continue_with_own_record(slot, segment, now)
