--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -62,7 +62,7 @@
             return
         owner = self.state.ranking.owner_of(packet.segment.key)
         named = owner in (self.state.vm, packet.sender)
-        if named or self.holds(packet.segment):
+        if named or self.has_flow_record(packet.segment):
             self.caller_handler.handle_packet(packet.segment, now)
             return
         self.state.drop_packet(Refusal.HOP_LIMIT)
@@ -81,7 +81,7 @@
         """Return whether this VM owns a packet's flow."""
         return self.state.ranking.owner_of(segment.key) == self.state.vm
 
-    def holds(self, segment: Segment) -> bool:
+    def has_flow_record(self, segment: Segment) -> bool:
         """Return whether this VM has a record that is more than learned."""
         slot = self.state.table.slots.get(segment.key)
         return slot is not None and self.state.table.roles[slot] != Role.LEARNED
