--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -27,7 +27,7 @@
         self.reply_handler = reply_handler
         self.stage_handlers = {
             Stage.TO_OWNER: self.handle_to_owner,
-            Stage.STORE: self.store,
+            Stage.STORE: self.handle_store,
             Stage.LOOKUP: self.look_up,
             Stage.ADOPT: self.adopt,
             Stage.MISS: self.miss,
@@ -86,7 +86,7 @@
         slot = self.state.table.slots.get(segment.key)
         return slot is not None and self.state.table.roles[slot] != Role.LEARNED
 
-    def store(self, packet: PeerPacket, now: float) -> None:
+    def handle_store(self, packet: PeerPacket, now: float) -> None:
         """Keep the second copy of a record, then forward its packet."""
         binding = packet.passing.binding
         if binding is None:
