Rename keep_copy to forward_as_backup

It forwards a packet as the backup.

Rename: libs/flows/src/kumquatmux_flows/peers.py keep_copy forward_as_backup

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -103,9 +103,9 @@
         elif self.state.server_address_of(slot) != binding.server:
             self.correct(packet, slot)
         else:
-            self.keep_copy(slot, packet, now)
+            self.forward_as_backup(slot, packet, now)
 
-    def keep_copy(self, slot: int, packet: PeerPacket, now: float) -> None:
+    def forward_as_backup(self, slot: int, packet: PeerPacket, now: float) -> None:
         """Follow a packet as the backup and forward it."""
         state = self.state
         table = state.table
