Rename follow to update_backup_record

It updates the record at the backup.

Rename: libs/flows/src/kumquatmux_flows/peers.py follow update_backup_record

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -112,7 +112,7 @@
         segment = packet.segment
         if packet.sender == state.ranking.owner_of(segment.key):
             state.release_ownership(slot, Role.BACKUP, "owner-moved")
-        self.follow(slot, segment, now)
+        self.update_backup_record(slot, segment, now)
         state.to_server(slot, segment)
         if segment.flags & FLAG_RST:
             state.close_flow(slot, "reset-by-caller", now)
@@ -120,7 +120,7 @@
             table.flow_flags[slot] |= FlowFlag.CALLER_FIN
             self.caller_handler.tracking.handle_fin(slot, now)
 
-    def follow(self, slot: int, segment: Segment, now: float) -> None:
+    def update_backup_record(self, slot: int, segment: Segment, now: float) -> None:
         """Note what a stored packet shows of its flow."""
         table = self.state.table
         table.caller_times[slot] = now
