--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -101,7 +101,7 @@
         elif not self.state.server_permitted(slot):
             self.caller_handler.reset_reassigned_flow(slot, segment, now)
         elif self.state.server_address_of(slot) != binding.server:
-            self.correct(packet, slot)
+            self.send_correction(packet, slot)
         else:
             self.forward_as_backup(slot, packet, now)
 
@@ -137,7 +137,7 @@
         elif table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = FlowStatus.ESTABLISHED
 
-    def correct(self, packet: PeerPacket, slot: int) -> None:
+    def send_correction(self, packet: PeerPacket, slot: int) -> None:
         """Give an owner the better record this VM has, with its packet."""
         passing = Passing(Stage.ADOPT, CORRECTION_HOPS, self.state.binding_of(slot))
         peer = SendToPeer(packet.sender, passing, packet.segment.packet)
