--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -28,7 +28,7 @@
         self.stage_handlers = {
             Stage.TO_OWNER: self.handle_to_owner,
             Stage.STORE: self.handle_store,
-            Stage.LOOKUP: self.look_up,
+            Stage.LOOKUP: self.handle_lookup,
             Stage.ADOPT: self.adopt,
             Stage.MISS: self.miss,
             Stage.REPLY_TO_OWNER: self.reply_to_owner,
@@ -143,7 +143,7 @@
         peer = SendToPeer(packet.sender, passing, packet.segment.packet)
         self.state.actions.append(peer)
 
-    def look_up(self, packet: PeerPacket, now: float) -> None:
+    def handle_lookup(self, packet: PeerPacket, now: float) -> None:
         """Answer a search, or send it on to the next VM."""
         state = self.state
         segment = packet.segment
