Rename found to find_binding

It finds the binding of a packet.

Rename: libs/flows/src/kumquatmux_flows/peers.py found find_binding

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -152,14 +152,16 @@
             state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
             return
         doubted = packet.passing.binding is not None
-        binding = self.found(segment, now, doubted=doubted)
+        binding = self.find_binding(segment, now, doubted=doubted)
         if binding is not None:
             passing = Passing(Stage.ADOPT, 0, binding)
             state.actions.append(SendToPeer(origin, passing, segment.packet))
         elif not self.is_over(segment, now):
             self.search_on(packet, now)
 
-    def found(self, segment: Segment, now: float, *, doubted: bool) -> Binding | None:
+    def find_binding(
+        self, segment: Segment, now: float, *, doubted: bool
+    ) -> Binding | None:
         """Return the record here that fits a searched packet.
 
         Args:
