Rename is_over to drop_if_quarantined

It drops a packet of a quarantined key.

Rename: libs/flows/src/kumquatmux_flows/peers.py is_over drop_if_quarantined

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -156,7 +156,7 @@
         if binding is not None:
             passing = Passing(Stage.ADOPT, 0, binding)
             state.actions.append(SendToPeer(origin, passing, segment.packet))
-        elif not self.is_over(segment, now):
+        elif not self.drop_if_quarantined(segment, now):
             self.search_on(packet, now)
 
     def find_binding(
@@ -192,7 +192,7 @@
             return None
         return state.binding_of(slot)
 
-    def is_over(self, segment: Segment, now: float) -> bool:
+    def drop_if_quarantined(self, segment: Segment, now: float) -> bool:
         """Drop a searched packet of a flow that just ended here."""
         state = self.state
         slot = state.table.slots.get(segment.key)
