--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -157,7 +157,7 @@
             passing = Passing(Stage.ADOPT, 0, binding)
             state.actions.append(SendToPeer(origin, passing, segment.packet))
         elif not self.drop_if_quarantined(segment, now):
-            self.search_on(packet, now)
+            self.continue_lookup(packet, now)
 
     def find_binding(
         self, segment: Segment, now: float, *, doubted: bool
@@ -203,7 +203,7 @@
         state.drop_packet(Refusal.QUARANTINED)
         return True
 
-    def search_on(self, packet: PeerPacket, now: float) -> None:
+    def continue_lookup(self, packet: PeerPacket, now: float) -> None:
         """Send a search to the next VM, or tell its origin that nobody knows."""
         state = self.state
         hops = packet.passing.hops
