--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -29,7 +29,7 @@
             Stage.TO_OWNER: self.handle_to_owner,
             Stage.STORE: self.handle_store,
             Stage.LOOKUP: self.handle_lookup,
-            Stage.ADOPT: self.adopt,
+            Stage.ADOPT: self.handle_adopt,
             Stage.MISS: self.miss,
             Stage.REPLY_TO_OWNER: self.reply_to_owner,
             Stage.REPLY_CLOSE: self.reply_close,
@@ -218,7 +218,7 @@
         vm = target if target is not None else origin
         state.actions.append(SendToPeer(vm, passing, packet.segment.packet))
 
-    def adopt(self, packet: PeerPacket, now: float) -> None:
+    def handle_adopt(self, packet: PeerPacket, now: float) -> None:
         """Take a record that a search or a correction found."""
         binding = packet.passing.binding
         segment = packet.segment
