--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -30,7 +30,7 @@
             Stage.STORE: self.handle_store,
             Stage.LOOKUP: self.handle_lookup,
             Stage.ADOPT: self.handle_adopt,
-            Stage.MISS: self.miss,
+            Stage.MISS: self.handle_miss,
             Stage.REPLY_TO_OWNER: self.reply_to_owner,
             Stage.REPLY_CLOSE: self.reply_close,
         }
@@ -243,7 +243,7 @@
         else:
             self.caller_handler.continue_with_confirmed_record(slot, segment, now)
 
-    def miss(self, packet: PeerPacket, now: float) -> None:
+    def handle_miss(self, packet: PeerPacket, now: float) -> None:
         """Decide about a packet whose record no live VM has."""
         suspect = packet.passing.suspect
         self.caller_handler.handle_lookup_miss(packet.segment, now, suspect=suspect)
