Rename reply_to_owner to handle_reply_to_owner

It handles the stage REPLY_TO_OWNER.

Rename: libs/flows/src/kumquatmux_flows/peers.py reply_to_owner handle_reply_to_owner

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -31,7 +31,7 @@
             Stage.LOOKUP: self.handle_lookup,
             Stage.ADOPT: self.handle_adopt,
             Stage.MISS: self.handle_miss,
-            Stage.REPLY_TO_OWNER: self.reply_to_owner,
+            Stage.REPLY_TO_OWNER: self.handle_reply_to_owner,
             Stage.REPLY_CLOSE: self.reply_close,
         }
 
@@ -248,7 +248,7 @@
         suspect = packet.passing.suspect
         self.caller_handler.handle_lookup_miss(packet.segment, now, suspect=suspect)
 
-    def reply_to_owner(self, packet: PeerPacket, now: float) -> None:
+    def handle_reply_to_owner(self, packet: PeerPacket, now: float) -> None:
         """Handle a reply another VM passed on."""
         binding = packet.passing.binding
         if binding is None:
