Rename reply_close to handle_reply_close

It handles the stage REPLY_CLOSE.

Rename: libs/flows/src/kumquatmux_flows/peers.py reply_close handle_reply_close

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -32,7 +32,7 @@
             Stage.ADOPT: self.handle_adopt,
             Stage.MISS: self.handle_miss,
             Stage.REPLY_TO_OWNER: self.handle_reply_to_owner,
-            Stage.REPLY_CLOSE: self.reply_close,
+            Stage.REPLY_CLOSE: self.handle_reply_close,
         }
 
     def handle_packet(self, packet: PeerPacket, now: float) -> None:
@@ -256,7 +256,7 @@
         elif not self.forward_to_owner(packet):
             self.reply_handler.handle_as_owner(packet.segment, binding.server, now)
 
-    def reply_close(self, packet: PeerPacket, now: float) -> None:
+    def handle_reply_close(self, packet: PeerPacket, now: float) -> None:
         """Handle the end of a flow as its backup."""
         binding = packet.passing.binding
         if binding is None:
