--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -28,7 +28,7 @@
 )
 from kumquatmux_flows.evidence import NARROW_ACK_WINDOW_BYTES
 from kumquatmux_flows.messages import BatchStored, RecordBatch
-from kumquatmux_flows.peers import PeerPath
+from kumquatmux_flows.peers import PeerPacketHandler
 from kumquatmux_flows.replies import ReplyHandler
 from kumquatmux_flows.settings import FlowSettings
 from kumquatmux_flows.silence import Silence
@@ -70,7 +70,7 @@
         self.reply_handler = ReplyHandler(
             self.state, self.caller_handler, self.silence_detector
         )
-        self.peer_handler = PeerPath(
+        self.peer_handler = PeerPacketHandler(
             self.state, self.caller_handler, self.reply_handler
         )
         self.sweep = Sweep(self.state, self.caller_handler, self.silence_detector)
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -13,7 +13,7 @@
 CORRECTION_HOPS = 1
 
 
-class PeerPath:
+class PeerPacketHandler:
     """Stores second copies, answers searches and corrects owners that moved."""
 
     def __init__(
