--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -18,7 +18,7 @@
     Role,
 )
 
-SILENT_BEFORE_REPAIR_SECONDS = 2.0
+IDLE_BEFORE_REPAIR_SECONDS = 2.0
 LEAVING_SPEED = 10.0
 BURST_SECONDS = 1.0
 
@@ -184,7 +184,7 @@
         backup = self.caller_handler.copies.backup_vm_of(slot)
         if backup is None:
             return
-        if self.state.idle_seconds(slot, now) < SILENT_BEFORE_REPAIR_SECONDS:
+        if self.state.idle_seconds(slot, now) < IDLE_BEFORE_REPAIR_SECONDS:
             return
         held = table.backup_vms[slot] == state.ranking.vm_number(backup)
         fresh = now - table.backup_times[slot] < self.idle_limit(slot) / 2
