--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -19,7 +19,7 @@
 )
 
 IDLE_BEFORE_REPAIR_SECONDS = 2.0
-LEAVING_SPEED = 10.0
+LEAVING_SPEED_FACTOR = 10.0
 BURST_SECONDS = 1.0
 
 
@@ -75,7 +75,7 @@
         """Return how many slots this tick looks at."""
         settings = self.state.settings
         size = len(self.state.table.keys)
-        speed = LEAVING_SPEED if self.state.ranking.leaving else 1.0
+        speed = LEAVING_SPEED_FACTOR if self.state.ranking.leaving else 1.0
         self.due += size * elapsed * speed / settings.sweep_seconds
         whole = min(int(self.due), settings.sweep_slots, size)
         self.due = min(self.due - whole, float(size))
