--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -39,7 +39,7 @@
         self.caller_handler = caller_handler
         self.batches = Batches(state, caller_handler.bindings, silence)
         self.cursor = 0
-        self.due = 0.0
+        self.due_slots = 0.0
         self.last = float("-inf")
         self.told_quiet = False
 
@@ -76,9 +76,9 @@
         settings = self.state.settings
         size = len(self.state.table.keys)
         speed = LEAVING_SPEED_FACTOR if self.state.ranking.leaving else 1.0
-        self.due += size * elapsed * speed / settings.sweep_seconds
-        whole = min(int(self.due), settings.sweep_slots, size)
-        self.due = min(self.due - whole, float(size))
+        self.due_slots += size * elapsed * speed / settings.sweep_seconds
+        whole = min(int(self.due_slots), settings.sweep_slots, size)
+        self.due_slots = min(self.due_slots - whole, float(size))
         return whole
 
     def step(self, now: float) -> None:
