--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -40,13 +40,13 @@
         self.batches = Batches(state, caller_handler.bindings, silence)
         self.cursor = 0
         self.due_slots = 0.0
-        self.last = float("-inf")
+        self.last_tick_time = float("-inf")
         self.told_quiet = False
 
     def tick(self, now: float) -> None:
         """Do the work that is due."""
-        elapsed = min(max(now - self.last, 0.0), BURST_SECONDS)
-        self.last = now
+        elapsed = min(max(now - self.last_tick_time, 0.0), BURST_SECONDS)
+        self.last_tick_time = now
         self.refill(elapsed)
         self.end_graces(now)
         self.batches.end_batches(now)
