--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -41,7 +41,7 @@
         self.cursor = 0
         self.due_slots = 0.0
         self.last_tick_time = float("-inf")
-        self.told_quiet = False
+        self.handover_reported = False
 
     def tick(self, now: float) -> None:
         """Do the work that is due."""
@@ -207,11 +207,11 @@
     def tell_quiet(self, now: float) -> None:
         """Report once that a leaving VM has nothing left to do."""
         state = self.state
-        if self.told_quiet or not state.ranking.leaving:
+        if self.handover_reported or not state.ranking.leaving:
             return
         if state.pending or state.table.role_counts[Role.OWNER]:
             return
         if now - state.last_packet_time < state.settings.quiet_seconds:
             return
-        self.told_quiet = True
+        self.handover_reported = True
         state.actions.append(Quiet())
