--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -50,14 +50,14 @@
         self.refill(elapsed)
         self.end_graces(now)
         self.batches.end_batches(now)
-        self.serve_waiting(now)
+        self.visit_deferred_slots(now)
         self.silence.ask_suspects(now)
         for _ in range(self.share(elapsed)):
             self.step(now)
         self.batches.flush_all(now)
         self.tell_quiet(now)
 
-    def serve_waiting(self, now: float) -> None:
+    def visit_deferred_slots(self, now: float) -> None:
         """Look again at slots that the budget made wait."""
         while (slot := self.batches.next_waiting()) is not None:
             key = self.state.table.keys[slot]
