--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -47,7 +47,7 @@
         """Do the work that is due."""
         elapsed = min(max(now - self.last_tick_time, 0.0), BURST_SECONDS)
         self.last_tick_time = now
-        self.refill(elapsed)
+        self.refill_budgets(elapsed)
         self.end_graces(now)
         self.batches.end_batches(now)
         self.visit_deferred_slots(now)
@@ -64,7 +64,7 @@
             if key is not None:
                 self.visit(slot, key, now)
 
-    def refill(self, elapsed: float) -> None:
+    def refill_budgets(self, elapsed: float) -> None:
         """Add to the budgets what the time allows."""
         self.batches.refill(elapsed)
         rate = self.state.settings.probes_per_second
