--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -52,7 +52,7 @@
         self.batches.end_batches(now)
         self.visit_deferred_slots(now)
         self.silence.ask_suspects(now)
-        for _ in range(self.share(elapsed)):
+        for _ in range(self.take_due_slots(elapsed)):
             self.step(now)
         self.batches.flush_all(now)
         self.tell_quiet(now)
@@ -71,7 +71,7 @@
         left = self.state.probe_budget + rate * elapsed
         self.state.probe_budget = min(left, max(rate * BURST_SECONDS, 1.0))
 
-    def share(self, elapsed: float) -> int:
+    def take_due_slots(self, elapsed: float) -> int:
         """Return how many slots this tick looks at."""
         settings = self.state.settings
         size = len(self.state.table.keys)
