--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -53,7 +53,7 @@
         self.visit_deferred_slots(now)
         self.silence.ask_suspects(now)
         for _ in range(self.take_due_slots(elapsed)):
-            self.step(now)
+            self.visit_next_slot(now)
         self.batches.flush_all(now)
         self.tell_quiet(now)
 
@@ -81,7 +81,7 @@
         self.due_slots = min(self.due_slots - whole, float(size))
         return whole
 
-    def step(self, now: float) -> None:
+    def visit_next_slot(self, now: float) -> None:
         """Look at the next slot."""
         table = self.state.table
         slot = self.cursor
