--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -62,7 +62,7 @@
         while (slot := self.batches.next_waiting()) is not None:
             key = self.state.table.keys[slot]
             if key is not None:
-                self.visit(slot, key, now)
+                self.visit_slot(slot, key, now)
 
     def refill_budgets(self, elapsed: float) -> None:
         """Add to the budgets what the time allows."""
@@ -88,9 +88,9 @@
         self.cursor = (slot + 1) % len(table.keys)
         key = table.keys[slot]
         if key is not None:
-            self.visit(slot, key, now)
+            self.visit_slot(slot, key, now)
 
-    def visit(self, slot: int, key: FlowKey, now: float) -> None:
+    def visit_slot(self, slot: int, key: FlowKey, now: float) -> None:
         """Do what one record needs."""
         table = self.state.table
         if table.statuses[slot] == FlowStatus.CLOSED:
