--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -94,7 +94,7 @@
         """Do what one record needs."""
         table = self.state.table
         if table.statuses[slot] == FlowStatus.CLOSED:
-            if self.owns(slot):
+            if self.owns_record(slot):
                 self.silence.repeat_reset(slot, key, now)
             if not self.state.is_quarantined(slot, now):
                 table.remove(slot)
@@ -105,7 +105,7 @@
         elif table.roles[slot] != Role.LEARNED:
             self.keep(slot, key, now)
 
-    def owns(self, slot: int) -> bool:
+    def owns_record(self, slot: int) -> bool:
         """Return whether this VM owns a record by the view in force.
 
         One that took a flow for silent in a cut may not reset it after the cut, when
