--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -99,7 +99,7 @@
             if not self.state.is_quarantined(slot, now):
                 table.remove(slot)
         elif not self.state.server_permitted(slot):
-            self.strand(slot, key, now)
+            self.end_reassigned_flow(slot, key, now)
         elif self.state.idle_seconds(slot, now) > self.idle_limit(slot):
             self.state.remove_flow(slot, Refusal.IDLE, now)
         elif table.roles[slot] != Role.LEARNED:
@@ -115,7 +115,7 @@
         place = state.routes.service_keys[state.table.services[slot]]
         return state.ranking.rank(place)[:1] == [state.vm]
 
-    def strand(self, slot: int, key: FlowKey, now: float) -> None:
+    def end_reassigned_flow(self, slot: int, key: FlowKey, now: float) -> None:
         """Give up a flow whose server's address now serves another service.
 
         Its caller may wait for an answer and send nothing, so it is reset at once.
