--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -103,7 +103,7 @@
         elif self.state.idle_seconds(slot, now) > self.idle_limit(slot):
             self.state.remove_flow(slot, Refusal.IDLE, now)
         elif table.roles[slot] != Role.LEARNED:
-            self.keep(slot, key, now)
+            self.maintain_record(slot, key, now)
 
     def owns_record(self, slot: int) -> bool:
         """Return whether this VM owns a record by the view in force.
@@ -142,7 +142,7 @@
             limit += settings.copy_refresh_seconds
         return limit
 
-    def keep(self, slot: int, key: FlowKey, now: float) -> None:
+    def maintain_record(self, slot: int, key: FlowKey, now: float) -> None:
         """Put a record where it belongs by the view in force."""
         state = self.state
         table = state.table
