--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -151,7 +151,7 @@
         if not owner:
             return
         if owner[0] != state.vm:
-            if table.roles[slot] == Role.OWNER or self.is_orphan(slot, place, now):
+            if table.roles[slot] == Role.OWNER or self.is_orphaned(slot, place, now):
                 self.hand_over(slot, owner[0], now)
             return
         if table.roles[slot] == Role.BACKUP:
@@ -160,7 +160,7 @@
         self.silence.offer_witness(slot, key, now)
         self.silence.probe(slot, key, now)
 
-    def is_orphan(self, slot: int, place: bytes, now: float) -> bool:
+    def is_orphaned(self, slot: int, place: bytes, now: float) -> bool:
         """Return whether a copy was not claimed by the owner of a newer view."""
         changed = self.state.ranking.owner_change_times.get(place)
         if changed is None or now - changed < self.state.settings.settle_seconds:
