--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -156,7 +156,7 @@
             return
         if table.roles[slot] == Role.BACKUP:
             state.take_ownership(slot, "owner-gone")
-        self.repair(slot, now)
+        self.repair_backup(slot, now)
         self.silence.offer_witness(slot, key, now)
         self.silence.probe(slot, key, now)
 
@@ -177,7 +177,7 @@
             return
         self.batches.collect(slot, owner, now)
 
-    def repair(self, slot: int, now: float) -> None:
+    def repair_backup(self, slot: int, now: float) -> None:
         """Give the backup a record that no packet has brought to it."""
         state = self.state
         table = state.table
