--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -48,7 +48,7 @@
         elapsed = min(max(now - self.last_tick_time, 0.0), BURST_SECONDS)
         self.last_tick_time = now
         self.refill_budgets(elapsed)
-        self.end_graces(now)
+        self.expire_provisional_slots(now)
         self.batches.end_batches(now)
         self.visit_deferred_slots(now)
         self.silence.ask_suspects(now)
@@ -192,7 +192,7 @@
             return
         self.batches.collect(slot, backup, now)
 
-    def end_graces(self, now: float) -> None:
+    def expire_provisional_slots(self, now: float) -> None:
         """Give back the slots of new flows that sent nothing."""
         state = self.state
         table = state.table
