--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -55,7 +55,7 @@
         for _ in range(self.take_due_slots(elapsed)):
             self.visit_next_slot(now)
         self.batches.flush_all(now)
-        self.tell_quiet(now)
+        self.report_handover_complete(now)
 
     def visit_deferred_slots(self, now: float) -> None:
         """Look again at slots that the budget made wait."""
@@ -204,7 +204,7 @@
             if table.flow_flags[slot] & FlowFlag.WORK_PROVISIONAL:
                 state.finish_work(slot)
 
-    def tell_quiet(self, now: float) -> None:
+    def report_handover_complete(self, now: float) -> None:
         """Report once that a leaving VM has nothing left to do."""
         state = self.state
         if self.handover_reported or not state.ranking.leaving:
