--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -124,11 +124,13 @@
     @apply_event.register
     def _(self, event: PeerMessage, now: float) -> None:
         if isinstance(event.message, RecordBatch):
-            self.sweep.batches.take_batch(event.sender, event.message, now)
+            self.sweep.batch_exchange.take_batch(event.sender, event.message, now)
         elif isinstance(event.message, BatchStored):
-            self.sweep.batches.take_confirmation(event.sender, event.message, now)
+            self.sweep.batch_exchange.take_confirmation(
+                event.sender, event.message, now
+            )
         else:
-            self.sweep.batches.take_lost(event.message, now)
+            self.sweep.batch_exchange.take_lost(event.message, now)
 
     @apply_event.register
     def _(self, event: ViewChanged, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -37,7 +37,7 @@
         self.state = state
         self.silence = silence
         self.caller_handler = caller_handler
-        self.batches = Batches(state, caller_handler.bindings, silence)
+        self.batch_exchange = Batches(state, caller_handler.bindings, silence)
         self.cursor = 0
         self.due_slots = 0.0
         self.last_tick_time = float("-inf")
@@ -49,24 +49,24 @@
         self.last_tick_time = now
         self.refill_budgets(elapsed)
         self.expire_provisional_slots(now)
-        self.batches.end_batches(now)
+        self.batch_exchange.end_batches(now)
         self.visit_deferred_slots(now)
         self.silence.ask_suspects(now)
         for _ in range(self.take_due_slots(elapsed)):
             self.visit_next_slot(now)
-        self.batches.flush_all(now)
+        self.batch_exchange.flush_all(now)
         self.report_handover_complete(now)
 
     def visit_deferred_slots(self, now: float) -> None:
         """Look again at slots that the budget made wait."""
-        while (slot := self.batches.next_waiting()) is not None:
+        while (slot := self.batch_exchange.next_waiting()) is not None:
             key = self.state.table.keys[slot]
             if key is not None:
                 self.visit_slot(slot, key, now)
 
     def refill_budgets(self, elapsed: float) -> None:
         """Add to the budgets what the time allows."""
-        self.batches.refill(elapsed)
+        self.batch_exchange.refill(elapsed)
         rate = self.state.settings.probes_per_second
         left = self.state.probe_budget + rate * elapsed
         self.state.probe_budget = min(left, max(rate * BURST_SECONDS, 1.0))
@@ -175,7 +175,7 @@
         if owned and held and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             state.release_ownership(slot, Role.BACKUP, "owner-moved")
             return
-        self.batches.collect(slot, owner, now)
+        self.batch_exchange.collect(slot, owner, now)
 
     def repair_backup(self, slot: int, now: float) -> None:
         """Give the backup a record that no packet has brought to it."""
@@ -190,7 +190,7 @@
         fresh = now - table.backup_times[slot] < self.idle_limit(slot) / 2
         if held and fresh and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             return
-        self.batches.collect(slot, backup, now)
+        self.batch_exchange.collect(slot, backup, now)
 
     def expire_provisional_slots(self, now: float) -> None:
         """Give back the slots of new flows that sent nothing."""
