--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -33,7 +33,7 @@
 from kumquatmux_flows.settings import FlowSettings
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.sweep import Sweep
+from kumquatmux_flows.sweep import TableSweep
 from kumquatmux_flows.table import (
     NO_VM,
     SEQUENCE_HALF,
@@ -73,7 +73,7 @@
         self.peer_handler = PeerPacketHandler(
             self.state, self.caller_handler, self.reply_handler
         )
-        self.sweep = Sweep(self.state, self.caller_handler, self.silence_detector)
+        self.sweep = TableSweep(self.state, self.caller_handler, self.silence_detector)
         self.owned_services: list[bool] = []
         self.backup_numbers: list[dict[str, int]] = []
 
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -23,7 +23,7 @@
 BURST_SECONDS = 1.0
 
 
-class Sweep:
+class TableSweep:
     """Looks at a bounded number of slots each tick.
 
     Attributes:
