--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -21,7 +21,7 @@
 from kumquatmux_flows.table import WAS_RESET, FlowFlag, FlowStatus, Role
 
 RECORD_BYTES = 56
-BATCH_BYTES = 24
+BATCH_HEADER_BYTES = 24
 BURST_SECONDS = 1.0
 WAITING_LIMIT = 20_000
 
@@ -64,7 +64,7 @@
     def refill(self, elapsed: float) -> None:
         """Add to the budget what the time allows."""
         rate = self.state.settings.repair_bytes_per_second
-        full = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_BYTES)
+        full = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_HEADER_BYTES)
         self.bytes_left = min(self.bytes_left + rate * elapsed, full)
 
     def flush_all(self, now: float) -> None:
@@ -78,7 +78,7 @@
             self.wait(slot)
             return
         batch = self.open.setdefault(vm, [])
-        self.bytes_left -= RECORD_BYTES + (0 if batch else BATCH_BYTES)
+        self.bytes_left -= RECORD_BYTES + (0 if batch else BATCH_HEADER_BYTES)
         batch.append(self.record(slot, now))
         if len(batch) >= self.state.settings.batch_records:
             self.flush(vm, now)
