--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -23,7 +23,7 @@
 RECORD_BYTES = 56
 BATCH_HEADER_BYTES = 24
 BURST_SECONDS = 1.0
-WAITING_LIMIT = 20_000
+DEFERRED_SLOT_LIMIT = 20_000
 
 
 class SentBatch(NamedTuple):
@@ -85,7 +85,7 @@
 
     def wait(self, slot: int) -> None:
         """Remember a slot whose record the budget does not allow yet."""
-        if slot not in self.waiting and len(self.waiting) < WAITING_LIMIT:
+        if slot not in self.waiting and len(self.waiting) < DEFERRED_SLOT_LIMIT:
             self.waiting.add(slot)
             self.line.append(slot)
 
