--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -36,7 +36,7 @@
     """
 
     vm: VmId
-    until: float
+    expires_at: float
     records: tuple[FlowRecord, ...]
 
 
