--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -54,7 +54,7 @@
         self.state = state
         self.bindings = bindings
         self.silence = silence
-        self.bytes_left = 0.0
+        self.byte_budget = 0.0
         self.number = 0
         self.sent: dict[int, SentBatch] = {}
         self.open: dict[VmId, list[FlowRecord]] = {}
@@ -65,7 +65,7 @@
         """Add to the budget what the time allows."""
         rate = self.state.settings.repair_bytes_per_second
         full = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_HEADER_BYTES)
-        self.bytes_left = min(self.bytes_left + rate * elapsed, full)
+        self.byte_budget = min(self.byte_budget + rate * elapsed, full)
 
     def flush_all(self, now: float) -> None:
         """Send every batch that has begun."""
@@ -74,11 +74,11 @@
 
     def collect(self, slot: int, vm: VmId, now: float) -> None:
         """Add a record to the batch for a VM, if the budget allows."""
-        if self.bytes_left < RECORD_BYTES:
+        if self.byte_budget < RECORD_BYTES:
             self.wait(slot)
             return
         batch = self.open.setdefault(vm, [])
-        self.bytes_left -= RECORD_BYTES + (0 if batch else BATCH_HEADER_BYTES)
+        self.byte_budget -= RECORD_BYTES + (0 if batch else BATCH_HEADER_BYTES)
         batch.append(self.record(slot, now))
         if len(batch) >= self.state.settings.batch_records:
             self.flush(vm, now)
@@ -91,7 +91,7 @@
 
     def next_waiting(self) -> int | None:
         """Return the slot that has waited longest, if the budget allows its record."""
-        if not self.line or self.bytes_left < RECORD_BYTES:
+        if not self.line or self.byte_budget < RECORD_BYTES:
             return None
         slot = self.line.popleft()
         self.waiting.discard(slot)
