--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -55,7 +55,7 @@
         self.bindings = bindings
         self.silence = silence
         self.byte_budget = 0.0
-        self.number = 0
+        self.last_batch_number = 0
         self.sent: dict[int, SentBatch] = {}
         self.open: dict[VmId, list[FlowRecord]] = {}
         self.line: deque[int] = deque()
@@ -119,10 +119,12 @@
     def flush(self, vm: VmId, now: float) -> None:
         """Send the batch for a VM."""
         records = tuple(self.open.pop(vm))
-        self.number += 1
+        self.last_batch_number += 1
         until = now + self.state.settings.batch_timeout_seconds
-        self.sent[self.number] = SentBatch(vm, until, records)
-        self.state.actions.append(SendMessage(vm, RecordBatch(self.number, records)))
+        self.sent[self.last_batch_number] = SentBatch(vm, until, records)
+        self.state.actions.append(
+            SendMessage(vm, RecordBatch(self.last_batch_number, records))
+        )
 
     def end_batches(self, now: float) -> None:
         """Forget batches that were not confirmed in time."""
