Rename sent to unconfirmed_batches

It holds the unconfirmed batches.

Rename: libs/flows/src/kumquatmux_flows/batches.py sent unconfirmed_batches

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -56,7 +56,7 @@
         self.silence = silence
         self.byte_budget = 0.0
         self.last_batch_number = 0
-        self.sent: dict[int, SentBatch] = {}
+        self.unconfirmed_batches: dict[int, SentBatch] = {}
         self.open: dict[VmId, list[FlowRecord]] = {}
         self.line: deque[int] = deque()
         self.waiting: set[int] = set()
@@ -121,16 +121,20 @@
         records = tuple(self.open.pop(vm))
         self.last_batch_number += 1
         until = now + self.state.settings.batch_timeout_seconds
-        self.sent[self.last_batch_number] = SentBatch(vm, until, records)
+        self.unconfirmed_batches[self.last_batch_number] = SentBatch(vm, until, records)
         self.state.actions.append(
             SendMessage(vm, RecordBatch(self.last_batch_number, records))
         )
 
     def end_batches(self, now: float) -> None:
         """Forget batches that were not confirmed in time."""
-        late = [number for number, sent in self.sent.items() if sent.until <= now]
+        late = [
+            number
+            for number, sent in self.unconfirmed_batches.items()
+            if sent.until <= now
+        ]
         for number in late:
-            del self.sent[number]
+            del self.unconfirmed_batches[number]
 
     def take_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
         """Keep the records another VM gives."""
@@ -235,7 +239,7 @@
 
     def take_confirmation(self, sender: VmId, stored: BatchStored, now: float) -> None:
         """Note that another VM keeps the records of a batch."""
-        sent = self.sent.pop(stored.number, None)
+        sent = self.unconfirmed_batches.pop(stored.number, None)
         if sent is None or sent.vm != sender:
             return
         better = {record.key for record in stored.better}
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -198,7 +198,7 @@
     unconfirmed = tick_for(made, SETTLED, 20.0)
     assert not any(isinstance(action, Quiet) for action in unconfirmed)
     made.state.table.backup_vms[0] = 0
-    batch = made.sweep.batch_exchange.sent
+    batch = made.sweep.batch_exchange.unconfirmed_batches
     for step in range(300):
         now = SETTLED + 20 + step / 10
         actions = made.handle(Tick(), now)
