--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -57,7 +57,7 @@
         self.byte_budget = 0.0
         self.last_batch_number = 0
         self.unconfirmed_batches: dict[int, SentBatch] = {}
-        self.open: dict[VmId, list[FlowRecord]] = {}
+        self.open_batches: dict[VmId, list[FlowRecord]] = {}
         self.line: deque[int] = deque()
         self.waiting: set[int] = set()
 
@@ -69,7 +69,7 @@
 
     def flush_all(self, now: float) -> None:
         """Send every batch that has begun."""
-        for vm in list(self.open):
+        for vm in list(self.open_batches):
             self.flush(vm, now)
 
     def collect(self, slot: int, vm: VmId, now: float) -> None:
@@ -77,7 +77,7 @@
         if self.byte_budget < RECORD_BYTES:
             self.wait(slot)
             return
-        batch = self.open.setdefault(vm, [])
+        batch = self.open_batches.setdefault(vm, [])
         self.byte_budget -= RECORD_BYTES + (0 if batch else BATCH_HEADER_BYTES)
         batch.append(self.record(slot, now))
         if len(batch) >= self.state.settings.batch_records:
@@ -118,7 +118,7 @@
 
     def flush(self, vm: VmId, now: float) -> None:
         """Send the batch for a VM."""
-        records = tuple(self.open.pop(vm))
+        records = tuple(self.open_batches.pop(vm))
         self.last_batch_number += 1
         until = now + self.state.settings.batch_timeout_seconds
         self.unconfirmed_batches[self.last_batch_number] = SentBatch(vm, until, records)
