Rename line to deferred_slots

It queues the deferred slots.

Rename: libs/flows/src/kumquatmux_flows/batches.py line deferred_slots

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -58,7 +58,7 @@
         self.last_batch_number = 0
         self.unconfirmed_batches: dict[int, SentBatch] = {}
         self.open_batches: dict[VmId, list[FlowRecord]] = {}
-        self.line: deque[int] = deque()
+        self.deferred_slots: deque[int] = deque()
         self.waiting: set[int] = set()
 
     def refill(self, elapsed: float) -> None:
@@ -87,13 +87,13 @@
         """Remember a slot whose record the budget does not allow yet."""
         if slot not in self.waiting and len(self.waiting) < DEFERRED_SLOT_LIMIT:
             self.waiting.add(slot)
-            self.line.append(slot)
+            self.deferred_slots.append(slot)
 
     def next_waiting(self) -> int | None:
         """Return the slot that has waited longest, if the budget allows its record."""
-        if not self.line or self.byte_budget < RECORD_BYTES:
+        if not self.deferred_slots or self.byte_budget < RECORD_BYTES:
             return None
-        slot = self.line.popleft()
+        slot = self.deferred_slots.popleft()
         self.waiting.discard(slot)
         return slot
 
