--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -59,7 +59,7 @@
         self.unconfirmed_batches: dict[int, SentBatch] = {}
         self.open_batches: dict[VmId, list[FlowRecord]] = {}
         self.deferred_slots: deque[int] = deque()
-        self.waiting: set[int] = set()
+        self.deferred_set: set[int] = set()
 
     def refill(self, elapsed: float) -> None:
         """Add to the budget what the time allows."""
@@ -85,8 +85,11 @@
 
     def wait(self, slot: int) -> None:
         """Remember a slot whose record the budget does not allow yet."""
-        if slot not in self.waiting and len(self.waiting) < DEFERRED_SLOT_LIMIT:
-            self.waiting.add(slot)
+        if (
+            slot not in self.deferred_set
+            and len(self.deferred_set) < DEFERRED_SLOT_LIMIT
+        ):
+            self.deferred_set.add(slot)
             self.deferred_slots.append(slot)
 
     def next_waiting(self) -> int | None:
@@ -94,7 +97,7 @@
         if not self.deferred_slots or self.byte_budget < RECORD_BYTES:
             return None
         slot = self.deferred_slots.popleft()
-        self.waiting.discard(slot)
+        self.deferred_set.discard(slot)
         return slot
 
     def record(self, slot: int, now: float) -> FlowRecord:
