--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -61,7 +61,7 @@
         self.deferred_slots: deque[int] = deque()
         self.deferred_set: set[int] = set()
 
-    def refill(self, elapsed: float) -> None:
+    def refill_budget(self, elapsed: float) -> None:
         """Add to the budget what the time allows."""
         rate = self.state.settings.repair_bytes_per_second
         full = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_HEADER_BYTES)
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -66,7 +66,7 @@
 
     def refill_budgets(self, elapsed: float) -> None:
         """Add to the budgets what the time allows."""
-        self.batch_exchange.refill(elapsed)
+        self.batch_exchange.refill_budget(elapsed)
         rate = self.state.settings.probes_per_second
         left = self.state.probe_budget + rate * elapsed
         self.state.probe_budget = min(left, max(rate * BURST_SECONDS, 1.0))
