--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -67,7 +67,7 @@
         full = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_HEADER_BYTES)
         self.byte_budget = min(self.byte_budget + rate * elapsed, full)
 
-    def flush_all(self, now: float) -> None:
+    def send_open_batches(self, now: float) -> None:
         """Send every batch that has begun."""
         for vm in list(self.open_batches):
             self.flush(vm, now)
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -54,7 +54,7 @@
         self.silence.ask_suspects(now)
         for _ in range(self.take_due_slots(elapsed)):
             self.visit_next_slot(now)
-        self.batch_exchange.flush_all(now)
+        self.batch_exchange.send_open_batches(now)
         self.report_handover_complete(now)
 
     def visit_deferred_slots(self, now: float) -> None:
