--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -72,7 +72,7 @@
         for vm in list(self.open_batches):
             self.flush(vm, now)
 
-    def collect(self, slot: int, vm: VmId, now: float) -> None:
+    def add_to_batch(self, slot: int, vm: VmId, now: float) -> None:
         """Add a record to the batch for a VM, if the budget allows."""
         if self.byte_budget < RECORD_BYTES:
             self.wait(slot)
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -175,7 +175,7 @@
         if owned and held and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             state.release_ownership(slot, Role.BACKUP, "owner-moved")
             return
-        self.batch_exchange.collect(slot, owner, now)
+        self.batch_exchange.add_to_batch(slot, owner, now)
 
     def repair_backup(self, slot: int, now: float) -> None:
         """Give the backup a record that no packet has brought to it."""
@@ -190,7 +190,7 @@
         fresh = now - table.backup_times[slot] < self.idle_limit(slot) / 2
         if held and fresh and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             return
-        self.batch_exchange.collect(slot, backup, now)
+        self.batch_exchange.add_to_batch(slot, backup, now)
 
     def expire_provisional_slots(self, now: float) -> None:
         """Give back the slots of new flows that sent nothing."""
