--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -75,7 +75,7 @@
     def add_to_batch(self, slot: int, vm: VmId, now: float) -> None:
         """Add a record to the batch for a VM, if the budget allows."""
         if self.byte_budget < RECORD_BYTES:
-            self.wait(slot)
+            self.defer_slot(slot)
             return
         batch = self.open_batches.setdefault(vm, [])
         self.byte_budget -= RECORD_BYTES + (0 if batch else BATCH_HEADER_BYTES)
@@ -83,7 +83,7 @@
         if len(batch) >= self.state.settings.batch_records:
             self.flush(vm, now)
 
-    def wait(self, slot: int) -> None:
+    def defer_slot(self, slot: int) -> None:
         """Remember a slot whose record the budget does not allow yet."""
         if (
             slot not in self.deferred_set
