--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -92,7 +92,7 @@
             self.deferred_set.add(slot)
             self.deferred_slots.append(slot)
 
-    def next_waiting(self) -> int | None:
+    def next_deferred_slot(self) -> int | None:
         """Return the slot that has waited longest, if the budget allows its record."""
         if not self.deferred_slots or self.byte_budget < RECORD_BYTES:
             return None
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -59,7 +59,7 @@
 
     def visit_deferred_slots(self, now: float) -> None:
         """Look again at slots that the budget made wait."""
-        while (slot := self.batch_exchange.next_waiting()) is not None:
+        while (slot := self.batch_exchange.next_deferred_slot()) is not None:
             key = self.state.table.keys[slot]
             if key is not None:
                 self.visit_slot(slot, key, now)
