Rename record to build_record

It builds the FlowRecord of a slot.

Rename: libs/flows/src/kumquatmux_flows/batches.py record build_record

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -79,7 +79,7 @@
             return
         batch = self.open_batches.setdefault(vm, [])
         self.byte_budget -= RECORD_BYTES + (0 if batch else BATCH_HEADER_BYTES)
-        batch.append(self.record(slot, now))
+        batch.append(self.build_record(slot, now))
         if len(batch) >= self.state.settings.batch_records:
             self.flush(vm, now)
 
@@ -100,7 +100,7 @@
         self.deferred_set.discard(slot)
         return slot
 
-    def record(self, slot: int, now: float) -> FlowRecord:
+    def build_record(self, slot: int, now: float) -> FlowRecord:
         """Return a record as it travels in a batch."""
         state = self.state
         table = state.table
@@ -161,7 +161,7 @@
             slot = None
         if slot is not None and state.server_address_of(slot) != record.server:
             if not trusted and not self.is_better(record, slot, now):
-                return self.record(slot, now)
+                return self.build_record(slot, now)
             self.lose(slot, now)
             slot = None
         if slot is None:
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -228,7 +228,7 @@
 def test_batches_survive_the_codec() -> None:
     made = cases.engine()
     cases.open_flow(made, cases.key_of(1))
-    record = made.sweep.batch_exchange.record(
+    record = made.sweep.batch_exchange.build_record(
         made.state.table.slots[cases.key_of(1)], SETTLED
     )
     batch = RecordBatch(1, (record,))
