--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -70,7 +70,7 @@
     def send_open_batches(self, now: float) -> None:
         """Send every batch that has begun."""
         for vm in list(self.open_batches):
-            self.flush(vm, now)
+            self.send_batch(vm, now)
 
     def add_to_batch(self, slot: int, vm: VmId, now: float) -> None:
         """Add a record to the batch for a VM, if the budget allows."""
@@ -81,7 +81,7 @@
         self.byte_budget -= RECORD_BYTES + (0 if batch else BATCH_HEADER_BYTES)
         batch.append(self.build_record(slot, now))
         if len(batch) >= self.state.settings.batch_records:
-            self.flush(vm, now)
+            self.send_batch(vm, now)
 
     def defer_slot(self, slot: int) -> None:
         """Remember a slot whose record the budget does not allow yet."""
@@ -119,7 +119,7 @@
             table.server_nexts[slot],
         )
 
-    def flush(self, vm: VmId, now: float) -> None:
+    def send_batch(self, vm: VmId, now: float) -> None:
         """Send the batch for a VM."""
         records = tuple(self.open_batches.pop(vm))
         self.last_batch_number += 1
