--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -129,7 +129,7 @@
             SendMessage(vm, RecordBatch(self.last_batch_number, records))
         )
 
-    def end_batches(self, now: float) -> None:
+    def expire_batches(self, now: float) -> None:
         """Forget batches that were not confirmed in time."""
         late = [
             number
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -49,7 +49,7 @@
         self.last_tick_time = now
         self.refill_budgets(elapsed)
         self.expire_provisional_slots(now)
-        self.batch_exchange.end_batches(now)
+        self.batch_exchange.expire_batches(now)
         self.visit_deferred_slots(now)
         self.silence.ask_suspects(now)
         for _ in range(self.take_due_slots(elapsed)):
