Rename take_batch to handle_batch

It handles the message RecordBatch. Made with rename.py; every use follows, behaviour is unchanged.

Rename: libs/flows/src/kumquatmux_flows/batches.py take_batch handle_batch

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -139,7 +139,7 @@
         for number in late:
             del self.unconfirmed_batches[number]
 
-    def take_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
+    def handle_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
         """Keep the records another VM gives."""
         better = []
         for record in batch.records:
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -124,7 +124,7 @@
     @apply_event.register
     def _(self, event: PeerMessage, now: float) -> None:
         if isinstance(event.message, RecordBatch):
-            self.sweep.batch_exchange.take_batch(event.sender, event.message, now)
+            self.sweep.batch_exchange.handle_batch(event.sender, event.message, now)
         elif isinstance(event.message, BatchStored):
             self.sweep.batch_exchange.take_confirmation(
                 event.sender, event.message, now
