--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -143,13 +143,13 @@
         """Keep the records another VM gives."""
         better = []
         for record in batch.records:
-            kept = self.take_record(record, now, trusted=False)
+            kept = self.store_record(record, now, trusted=False)
             if kept is not None:
                 better.append(kept)
         answer = BatchStored(batch.number, tuple(better))
         self.state.actions.append(SendMessage(sender, answer))
 
-    def take_record(
+    def store_record(
         self, record: FlowRecord, now: float, *, trusted: bool
     ) -> FlowRecord | None:
         """Keep one record, or return the better one that is here."""
@@ -251,7 +251,7 @@
             if slot is not None and record.key not in better:
                 self.confirm(slot, sender, now)
         for record in stored.better:
-            self.take_record(record, now, trusted=True)
+            self.store_record(record, now, trusted=True)
 
     def confirm(self, slot: int, vm: VmId, now: float) -> None:
         """Note that a VM keeps one record."""
