--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -160,7 +160,7 @@
             table.remove(slot)
             slot = None
         if slot is not None and state.server_address_of(slot) != record.server:
-            if not trusted and not self.is_better(record, slot, now):
+            if not trusted and not self.record_wins(record, slot, now):
                 return self.build_record(slot, now)
             self.lose(slot, now)
             slot = None
@@ -172,7 +172,7 @@
         self.refresh(slot, record, now)
         return None
 
-    def is_better(self, record: FlowRecord, slot: int, now: float) -> bool:
+    def record_wins(self, record: FlowRecord, slot: int, now: float) -> bool:
         """Return whether a record wins over the one here."""
         state = self.state
         table = state.table
