Rename lose to discard_record

It discards the losing record.

Rename: libs/flows/src/kumquatmux_flows/batches.py lose discard_record

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -162,7 +162,7 @@
         if slot is not None and state.server_address_of(slot) != record.server:
             if not trusted and not self.record_wins(record, slot, now):
                 return self.build_record(slot, now)
-            self.lose(slot, now)
+            self.discard_record(slot, now)
             slot = None
         if slot is None:
             slot = self.add(record, now)
@@ -189,7 +189,7 @@
             return record.idle < idle
         return record.server < state.server_address_of(slot)
 
-    def lose(self, slot: int, now: float) -> None:
+    def discard_record(self, slot: int, now: float) -> None:
         """Drop the record that lost against another VM's."""
         state = self.state
         key = state.table.keys[slot]
