--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -202,7 +202,7 @@
             self.bindings.drop_backup_copy(slot)
         state.remove_flow(slot, Refusal.CONFLICT, now)
 
-    def take_lost(self, lost: LostRecord, now: float) -> None:
+    def handle_lost_record(self, lost: LostRecord, now: float) -> None:
         """Drop the second copy of a record that lost against another."""
         state = self.state
         slot = state.table.slots.get(lost.key)
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -130,7 +130,7 @@
                 event.sender, event.message, now
             )
         else:
-            self.sweep.batch_exchange.take_lost(event.message, now)
+            self.sweep.batch_exchange.handle_lost_record(event.message, now)
 
     @apply_event.register
     def _(self, event: ViewChanged, now: float) -> None:
