--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -165,7 +165,7 @@
             self.discard_record(slot, now)
             slot = None
         if slot is None:
-            slot = self.add(record, now)
+            slot = self.add_record(record, now)
         elif table.strikes[slot] == WAS_RESET:
             self.silence.send_resets(slot, record.key, Refusal.SILENT)
             return None
@@ -211,7 +211,7 @@
         if state.server_address_of(slot) == lost.server:
             state.remove_flow(slot, Refusal.CONFLICT, now)
 
-    def add(self, record: FlowRecord, now: float) -> int:
+    def add_record(self, record: FlowRecord, now: float) -> int:
         """Return the slot of a record that was not here."""
         state = self.state
         table = state.table
