--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -169,7 +169,7 @@
         elif table.strikes[slot] == WAS_RESET:
             self.silence.send_resets(slot, record.key, Refusal.SILENT)
             return None
-        self.refresh(slot, record, now)
+        self.update_record(slot, record, now)
         return None
 
     def record_wins(self, record: FlowRecord, slot: int, now: float) -> bool:
@@ -228,7 +228,7 @@
             table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
         return slot
 
-    def refresh(self, slot: int, record: FlowRecord, now: float) -> None:
+    def update_record(self, slot: int, record: FlowRecord, now: float) -> None:
         """Bring a record here up to date with one from its owner."""
         table = self.state.table
         table.epochs[slot] = max(table.epochs[slot], record.epoch)
