--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -240,7 +240,9 @@
         if self.state.ranking.owns(place):
             self.state.take_ownership(slot, "handed-over")
 
-    def take_confirmation(self, sender: VmId, stored: BatchStored, now: float) -> None:
+    def handle_batch_stored(
+        self, sender: VmId, stored: BatchStored, now: float
+    ) -> None:
         """Note that another VM keeps the records of a batch."""
         sent = self.unconfirmed_batches.pop(stored.number, None)
         if sent is None or sent.vm != sender:
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -126,7 +126,7 @@
         if isinstance(event.message, RecordBatch):
             self.sweep.batch_exchange.handle_batch(event.sender, event.message, now)
         elif isinstance(event.message, BatchStored):
-            self.sweep.batch_exchange.take_confirmation(
+            self.sweep.batch_exchange.handle_batch_stored(
                 event.sender, event.message, now
             )
         else:
