--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -251,11 +251,11 @@
         for record in sent.records:
             slot = self.state.table.slots.get(record.key)
             if slot is not None and record.key not in better:
-                self.confirm(slot, sender, now)
+                self.confirm_record(slot, sender, now)
         for record in stored.better:
             self.store_record(record, now, trusted=True)
 
-    def confirm(self, slot: int, vm: VmId, now: float) -> None:
+    def confirm_record(self, slot: int, vm: VmId, now: float) -> None:
         """Note that a VM keeps one record."""
         state = self.state
         table = state.table
