Rename Batches to BatchExchange

It sends and receives batches.

Rename: libs/flows/src/kumquatmux_flows/batches.py Batches BatchExchange

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -40,7 +40,7 @@
     records: tuple[FlowRecord, ...]
 
 
-class Batches:
+class BatchExchange:
     """Sends and takes batches of records within a budget of bytes.
 
     Attributes:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -4,7 +4,7 @@
 
 from kumquatmux_core.identity import FlowKey, VmId
 from kumquatmux_core.segments import PROTOCOL_TCP
-from kumquatmux_flows.batches import Batches
+from kumquatmux_flows.batches import BatchExchange
 from kumquatmux_flows.callers import CallerPacketHandler
 from kumquatmux_flows.events import (
     Quiet,
@@ -37,7 +37,7 @@
         self.state = state
         self.silence = silence
         self.caller_handler = caller_handler
-        self.batch_exchange = Batches(state, caller_handler.bindings, silence)
+        self.batch_exchange = BatchExchange(state, caller_handler.bindings, silence)
         self.cursor = 0
         self.due_slots = 0.0
         self.last_tick_time = float("-inf")
