Rename witnesses to reference_flows

It names the reference flow of each server.

Rename: libs/flows/src/kumquatmux_flows/silence.py witnesses reference_flows

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -39,7 +39,7 @@
 
     def __init__(self, state: FlowState) -> None:
         self.state = state
-        self.witnesses: dict[int, FlowKey] = {}
+        self.reference_flows: dict[int, FlowKey] = {}
         self.asked: set[int] = set()
         self.suspects: dict[FlowKey, float] = {}
 
@@ -68,13 +68,13 @@
         server = table.servers[slot]
         self.state.routes.answer_times[server] = now
         if key is not None:
-            self.witnesses[server] = key
+            self.reference_flows[server] = key
         self.asked.discard(server)
 
     def take_witness(self, slot: int, now: float) -> None:
         """Note the answer of the flow that was probed as a witness."""
         table = self.state.table
-        if self.witnesses.get(table.servers[slot]) == table.keys[slot]:
+        if self.reference_flows.get(table.servers[slot]) == table.keys[slot]:
             self.note_answer(slot, now)
 
     def ask_witness(self, slot: int) -> None:
@@ -82,7 +82,7 @@
         state = self.state
         table = state.table
         server = table.servers[slot]
-        key = self.witnesses.get(server)
+        key = self.reference_flows.get(server)
         other = self.witness_slot(server)
         if key is None or other is None or other == slot or state.probe_budget < 1.0:
             return
@@ -95,7 +95,7 @@
     def witness_slot(self, server: int) -> int | None:
         """Return the slot of a server's witness, None if it can be none any more."""
         table = self.state.table
-        key = self.witnesses.get(server)
+        key = self.reference_flows.get(server)
         slot = None if key is None else table.slots.get(key)
         if slot is None or table.servers[slot] != server:
             return None
@@ -112,7 +112,7 @@
             return
         witness = self.witness_slot(table.servers[slot])
         if witness is None or table.strikes[witness]:
-            self.witnesses[table.servers[slot]] = key
+            self.reference_flows[table.servers[slot]] = key
 
     def strike(self, slot: int, gap: float, now: float) -> None:
         """Note a retransmission or probe, at most one in a gap of seconds."""
