Rename asked to probed_servers

It names the servers with an open reference probe.

Rename: libs/flows/src/kumquatmux_flows/silence.py asked probed_servers

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -313,7 +313,9 @@
         marks = table.flow_flags[slot]
         if not marks & BACKUP_CONFIRMED and table.backup_vms[slot] != NO_VM:
             return False
-        told = ack == table.server_acks[slot] and not self.silence_detector.asked
+        told = (
+            ack == table.server_acks[slot] and not self.silence_detector.probed_servers
+        )
         if not told or marks & WORK_PENDING or table.strikes[slot]:
             self.silence_detector.answered(slot, ack, now)
         if payload_length and marks & WORK_PENDING:
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -40,7 +40,7 @@
     def __init__(self, state: FlowState) -> None:
         self.state = state
         self.reference_flows: dict[int, FlowKey] = {}
-        self.asked: set[int] = set()
+        self.probed_servers: set[int] = set()
         self.suspects: dict[FlowKey, float] = {}
 
     def answered(self, slot: int, ack: int, now: float) -> None:
@@ -57,7 +57,7 @@
             whole and table.flow_flags[slot] & FlowFlag.WORK_PENDING
         ):
             self.note_answer(slot, now)
-        elif table.servers[slot] in self.asked:
+        elif table.servers[slot] in self.probed_servers:
             self.take_witness(slot, now)
         table.strikes[slot] = 0
 
@@ -69,7 +69,7 @@
         self.state.routes.answer_times[server] = now
         if key is not None:
             self.reference_flows[server] = key
-        self.asked.discard(server)
+        self.probed_servers.discard(server)
 
     def take_witness(self, slot: int, now: float) -> None:
         """Note the answer of the flow that was probed as a witness."""
@@ -87,7 +87,7 @@
         if key is None or other is None or other == slot or state.probe_budget < 1.0:
             return
         state.probe_budget -= 1.0
-        self.asked.add(server)
+        self.probed_servers.add(server)
         seq = table.server_acks[other] - 1 & SEQUENCE_MASK
         ack = table.server_nexts[other]
         state.actions.append(ProbeServer(key, state.server_address_of(other), seq, ack))
