Rename suspects to probe_due_times

It holds the due times of probes.

Rename: libs/flows/src/kumquatmux_flows/silence.py suspects probe_due_times

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -41,7 +41,7 @@
         self.state = state
         self.reference_flows: dict[int, FlowKey] = {}
         self.probed_servers: set[int] = set()
-        self.suspects: dict[FlowKey, float] = {}
+        self.probe_due_times: dict[FlowKey, float] = {}
 
     def answered(self, slot: int, ack: int, now: float) -> None:
         """Note a reply: it ends the silence if it acknowledges all, or more."""
@@ -168,13 +168,13 @@
             self.end(slot, Refusal.SILENT, now)
             return
         self.send_probes(slot, key)
-        self.suspects[key] = now + settings.probe_interval_seconds
+        self.probe_due_times[key] = now + settings.probe_interval_seconds
 
     def ask_suspects(self, now: float) -> None:
         """Probe again, without waiting for the sweep, what has not answered."""
         table = self.state.table
-        for key in [key for key, due in self.suspects.items() if due < now]:
-            del self.suspects[key]
+        for key in [key for key, due in self.probe_due_times.items() if due < now]:
+            del self.probe_due_times[key]
             slot = table.slots.get(key)
             if slot is None or table.roles[slot] != Role.OWNER:
                 continue
