Rename answered to handle_reply_ack

It handles the acknowledgement of a reply.

Rename: libs/flows/src/kumquatmux_flows/silence.py answered handle_reply_ack

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -317,7 +317,7 @@
             ack == table.server_acks[slot] and not self.silence_detector.probed_servers
         )
         if not told or marks & WORK_PENDING or table.strikes[slot]:
-            self.silence_detector.answered(slot, ack, now)
+            self.silence_detector.handle_reply_ack(slot, ack, now)
         if payload_length and marks & WORK_PENDING:
             self.state.finish_work(slot)
         return True
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -171,7 +171,7 @@
         if not table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN and segment.is_tcp:
             self.advance_server_next(slot, segment)
         if segment.flags & FLAG_ACK:
-            self.silence.answered(slot, segment.ack, now)
+            self.silence.handle_reply_ack(slot, segment.ack, now)
         if segment.flags & FLAG_ACK or not segment.is_tcp:
             self.caller_handler.copies.confirm_backup(slot, segment.ack)
         if segment.payload_length:
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -43,7 +43,7 @@
         self.probed_servers: set[int] = set()
         self.probe_due_times: dict[FlowKey, float] = {}
 
-    def answered(self, slot: int, ack: int, now: float) -> None:
+    def handle_reply_ack(self, slot: int, ack: int, now: float) -> None:
         """Note a reply: it ends the silence if it acknowledges all, or more."""
         table = self.state.table
         known = table.server_acks[slot]
