--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -56,12 +56,12 @@
         if table.strikes[slot] or (
             whole and table.flow_flags[slot] & FlowFlag.WORK_PENDING
         ):
-            self.note_answer(slot, now)
+            self.record_answer(slot, now)
         elif table.servers[slot] in self.probed_servers:
             self.take_witness(slot, now)
         table.strikes[slot] = 0
 
-    def note_answer(self, slot: int, now: float) -> None:
+    def record_answer(self, slot: int, now: float) -> None:
         """Remember that a server answered a packet of this VM."""
         table = self.state.table
         key = table.keys[slot]
@@ -75,7 +75,7 @@
         """Note the answer of the flow that was probed as a witness."""
         table = self.state.table
         if self.reference_flows.get(table.servers[slot]) == table.keys[slot]:
-            self.note_answer(slot, now)
+            self.record_answer(slot, now)
 
     def ask_witness(self, slot: int) -> None:
         """Probe another flow of a server, to learn whether it answers anybody."""
