Rename take_witness to record_reference_answer

It records the answer of a reference flow.

Rename: libs/flows/src/kumquatmux_flows/silence.py take_witness record_reference_answer

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -58,7 +58,7 @@
         ):
             self.record_answer(slot, now)
         elif table.servers[slot] in self.probed_servers:
-            self.take_witness(slot, now)
+            self.record_reference_answer(slot, now)
         table.strikes[slot] = 0
 
     def record_answer(self, slot: int, now: float) -> None:
@@ -71,7 +71,7 @@
             self.reference_flows[server] = key
         self.probed_servers.discard(server)
 
-    def take_witness(self, slot: int, now: float) -> None:
+    def record_reference_answer(self, slot: int, now: float) -> None:
         """Note the answer of the flow that was probed as a witness."""
         table = self.state.table
         if self.reference_flows.get(table.servers[slot]) == table.keys[slot]:
