--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -77,7 +77,7 @@
         if self.reference_flows.get(table.servers[slot]) == table.keys[slot]:
             self.record_answer(slot, now)
 
-    def ask_witness(self, slot: int) -> None:
+    def probe_reference_flow(self, slot: int) -> None:
         """Probe another flow of a server, to learn whether it answers anybody."""
         state = self.state
         table = state.table
@@ -126,7 +126,7 @@
         elif state.routes.answer_times[table.servers[slot]] > latest:
             table.strikes[slot] = min(table.strikes[slot] + 1, WAS_RESET - 1)
         table.strike_times[slot] = now
-        self.ask_witness(slot)
+        self.probe_reference_flow(slot)
 
     def retransmitted(self, slot: int, segment: Segment, now: float) -> None:
         """Note a retransmission, and reset the flow when it was one too many."""
