--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -83,7 +83,7 @@
         table = state.table
         server = table.servers[slot]
         key = self.reference_flows.get(server)
-        other = self.witness_slot(server)
+        other = self.reference_slot(server)
         if key is None or other is None or other == slot or state.probe_budget < 1.0:
             return
         state.probe_budget -= 1.0
@@ -92,7 +92,7 @@
         ack = table.server_nexts[other]
         state.actions.append(ProbeServer(key, state.server_address_of(other), seq, ack))
 
-    def witness_slot(self, server: int) -> int | None:
+    def reference_slot(self, server: int) -> int | None:
         """Return the slot of a server's witness, None if it can be none any more."""
         table = self.state.table
         key = self.reference_flows.get(server)
@@ -110,7 +110,7 @@
             return
         if now - table.reply_times[slot] > self.state.settings.probe_idle_seconds:
             return
-        witness = self.witness_slot(table.servers[slot])
+        witness = self.reference_slot(table.servers[slot])
         if witness is None or table.strikes[witness]:
             self.reference_flows[table.servers[slot]] = key
 
