Rename offer_witness to offer_reference_flow

It offers a reference flow.

Rename: libs/flows/src/kumquatmux_flows/silence.py offer_witness offer_reference_flow

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -103,7 +103,7 @@
             return None
         return slot if table.statuses[slot] == FlowStatus.ESTABLISHED else None
 
-    def offer_witness(self, slot: int, key: FlowKey, now: float) -> None:
+    def offer_reference_flow(self, slot: int, key: FlowKey, now: float) -> None:
         """Let a flow that hears its server be the witness if there is no good one."""
         table = self.state.table
         if table.statuses[slot] != FlowStatus.ESTABLISHED or table.strikes[slot]:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -157,7 +157,7 @@
         if table.roles[slot] == Role.BACKUP:
             state.take_ownership(slot, "owner-gone")
         self.repair_backup(slot, now)
-        self.silence.offer_witness(slot, key, now)
+        self.silence.offer_reference_flow(slot, key, now)
         self.silence.probe(slot, key, now)
 
     def is_orphaned(self, slot: int, place: bytes, now: float) -> bool:
