Rename retransmitted to handle_retransmission

It handles a retransmission.

Rename: libs/flows/src/kumquatmux_flows/silence.py retransmitted handle_retransmission

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -128,7 +128,7 @@
         table.strike_times[slot] = now
         self.probe_reference_flow(slot)
 
-    def retransmitted(self, slot: int, segment: Segment, now: float) -> None:
+    def handle_retransmission(self, slot: int, segment: Segment, now: float) -> None:
         """Note a retransmission, and reset the flow when it was one too many."""
         state = self.state
         settings = state.settings
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -45,7 +45,7 @@
         seen = table.flow_flags[slot] & FlowFlag.CALLER_NEXT_KNOWN
         table.flow_flags[slot] &= ~FlowFlag.WORK_PROVISIONAL & 0xFF
         if segment.is_tcp and seen and not seq_after(end, table.caller_nexts[slot]):
-            self.silence.retransmitted(slot, segment, now)
+            self.silence.handle_retransmission(slot, segment, now)
             return
         table.caller_nexts[slot] = end
         table.flow_flags[slot] |= FlowFlag.CALLER_NEXT_KNOWN
