Rename end to close_reset_flow

It closes a flow that was reset.

Rename: libs/flows/src/kumquatmux_flows/silence.py end close_reset_flow

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -140,9 +140,9 @@
             ResetServer(segment.key, state.server_address_of(slot), segment.seq)
         )
         state.actions.append(ResetCaller(segment, Refusal.SILENT))
-        self.end(slot, Refusal.SILENT, now)
+        self.close_reset_flow(slot, Refusal.SILENT, now)
 
-    def end(self, slot: int, reason: Refusal, now: float) -> None:
+    def close_reset_flow(self, slot: int, reason: Refusal, now: float) -> None:
         """Close a flow that was reset."""
         self.state.close_flow(slot, reason, now)
         self.state.table.strikes[slot] = WAS_RESET
@@ -165,7 +165,7 @@
         self.strike(slot, settings.probe_interval_seconds, now)
         if table.strikes[slot] > settings.probe_limit:
             self.send_resets(slot, key, Refusal.SILENT)
-            self.end(slot, Refusal.SILENT, now)
+            self.close_reset_flow(slot, Refusal.SILENT, now)
             return
         self.send_probes(slot, key)
         self.probe_due_times[key] = now + settings.probe_interval_seconds
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -125,7 +125,7 @@
             self.state.remove_flow(slot, Refusal.SERVER_GONE, now)
             return
         self.silence.send_resets(slot, key, Refusal.SERVER_GONE)
-        self.silence.end(slot, Refusal.SERVER_GONE, now)
+        self.silence.close_reset_flow(slot, Refusal.SERVER_GONE, now)
 
     def idle_limit(self, slot: int) -> float:
         """Return the seconds a flow may be idle, by its status."""
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -258,7 +258,9 @@
     made = cases.engine()
     key = cases.key_of(1)
     cases.open_flow(made, key)
-    made.silence_detector.end(made.state.table.slots[key], Refusal.SILENT, SETTLED)
+    made.silence_detector.close_reset_flow(
+        made.state.table.slots[key], Refusal.SILENT, SETTLED
+    )
     made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
     second = "b" if first == "a" else "a"
     made.state.ranking.ranked_vms = {
