--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -147,7 +147,7 @@
         self.state.close_flow(slot, reason, now)
         self.state.table.strikes[slot] = WAS_RESET
 
-    def probe(self, slot: int, key: FlowKey, now: float) -> None:
+    def probe_idle_flow(self, slot: int, key: FlowKey, now: float) -> None:
         """Ask both ends of an idle TCP flow whether they still know it."""
         state = self.state
         table = state.table
@@ -181,7 +181,7 @@
             if not self.state.server_permitted(slot):
                 continue
             if table.strikes[slot]:
-                self.probe(slot, key, now)
+                self.probe_idle_flow(slot, key, now)
 
     def send_probes(self, slot: int, key: FlowKey) -> None:
         """Send one keepalive probe to each end whose numbers are known.
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -158,7 +158,7 @@
             state.take_ownership(slot, "owner-gone")
         self.repair_backup(slot, now)
         self.silence.offer_reference_flow(slot, key, now)
-        self.silence.probe(slot, key, now)
+        self.silence.probe_idle_flow(slot, key, now)
 
     def is_orphaned(self, slot: int, place: bytes, now: float) -> bool:
         """Return whether a copy was not claimed by the owner of a newer view."""
