Rename ask_suspects to probe_due_flows

It probes the flows that are due.

Rename: libs/flows/src/kumquatmux_flows/silence.py ask_suspects probe_due_flows

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -170,7 +170,7 @@
         self.send_probes(slot, key)
         self.probe_due_times[key] = now + settings.probe_interval_seconds
 
-    def ask_suspects(self, now: float) -> None:
+    def probe_due_flows(self, now: float) -> None:
         """Probe again, without waiting for the sweep, what has not answered."""
         table = self.state.table
         for key in [key for key, due in self.probe_due_times.items() if due < now]:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -51,7 +51,7 @@
         self.expire_provisional_slots(now)
         self.batch_exchange.expire_batches(now)
         self.visit_deferred_slots(now)
-        self.silence.ask_suspects(now)
+        self.silence.probe_due_flows(now)
         for _ in range(self.take_due_slots(elapsed)):
             self.visit_next_slot(now)
         self.batch_exchange.send_open_batches(now)
