--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -29,13 +29,13 @@
 class CallerPacketHandler:
     """Forwards open flows and looks for lost records."""
 
-    def __init__(self, state: FlowState, silence: Silence) -> None:
+    def __init__(self, state: FlowState, silence_detector: Silence) -> None:
         self.state = state
         self.copies = Copies(state)
         self.ack_validator = AckValidator(state)
         self.bindings = BindingStore(state, self.copies, self.ack_validator)
         self.placing = Placing(state)
-        self.tracking = FlowTracker(state, silence)
+        self.tracking = FlowTracker(state, silence_detector)
 
     def handle_packet(self, segment: Segment, now: float) -> None:
         """Handle a caller's packet as the owner of its flow."""
