--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -13,7 +13,7 @@
 
     def __init__(self, state: FlowState, silence: Silence) -> None:
         self.state = state
-        self.silence = silence
+        self.silence_detector = silence
 
     def track_packet(self, slot: int, segment: Segment, now: float) -> None:
         """Follow handshake, work and retransmissions of a flow."""
@@ -45,7 +45,7 @@
         seen = table.flow_flags[slot] & FlowFlag.CALLER_NEXT_KNOWN
         table.flow_flags[slot] &= ~FlowFlag.WORK_PROVISIONAL & 0xFF
         if segment.is_tcp and seen and not seq_after(end, table.caller_nexts[slot]):
-            self.silence.handle_retransmission(slot, segment, now)
+            self.silence_detector.handle_retransmission(slot, segment, now)
             return
         table.caller_nexts[slot] = end
         table.flow_flags[slot] |= FlowFlag.CALLER_NEXT_KNOWN
