--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -11,9 +11,9 @@
 class FlowTracker:
     """Follows handshake, work and end of the flows this VM owns."""
 
-    def __init__(self, state: FlowState, silence: Silence) -> None:
+    def __init__(self, state: FlowState, silence_detector: Silence) -> None:
         self.state = state
-        self.silence_detector = silence
+        self.silence_detector = silence_detector
 
     def track_packet(self, slot: int, segment: Segment, now: float) -> None:
         """Follow handshake, work and retransmissions of a flow."""
