--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -24,7 +24,7 @@
         self, state: FlowState, caller_handler: CallerPacketHandler, silence: Silence
     ) -> None:
         self.state = state
-        self.silence = silence
+        self.silence_detector = silence
         self.caller_handler = caller_handler
 
     def handle_from_fabric(self, segment: Segment, server: Address, now: float) -> None:
@@ -171,7 +171,7 @@
         if not table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN and segment.is_tcp:
             self.advance_server_next(slot, segment)
         if segment.flags & FLAG_ACK:
-            self.silence.handle_reply_ack(slot, segment.ack, now)
+            self.silence_detector.handle_reply_ack(slot, segment.ack, now)
         if segment.flags & FLAG_ACK or not segment.is_tcp:
             self.caller_handler.copies.confirm_backup(slot, segment.ack)
         if segment.payload_length:
