--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -21,10 +21,13 @@
     """Learns flows from replies and lets the owner see the first answers."""
 
     def __init__(
-        self, state: FlowState, caller_handler: CallerPacketHandler, silence: Silence
+        self,
+        state: FlowState,
+        caller_handler: CallerPacketHandler,
+        silence_detector: Silence,
     ) -> None:
         self.state = state
-        self.silence_detector = silence
+        self.silence_detector = silence_detector
         self.caller_handler = caller_handler
 
     def handle_from_fabric(self, segment: Segment, server: Address, now: float) -> None:
