--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -35,7 +35,7 @@
         self, state: FlowState, caller_handler: CallerPacketHandler, silence: Silence
     ) -> None:
         self.state = state
-        self.silence = silence
+        self.silence_detector = silence
         self.caller_handler = caller_handler
         self.batch_exchange = BatchExchange(state, caller_handler.bindings, silence)
         self.cursor = 0
@@ -51,7 +51,7 @@
         self.expire_provisional_slots(now)
         self.batch_exchange.expire_batches(now)
         self.visit_deferred_slots(now)
-        self.silence.probe_due_flows(now)
+        self.silence_detector.probe_due_flows(now)
         for _ in range(self.take_due_slots(elapsed)):
             self.visit_next_slot(now)
         self.batch_exchange.send_open_batches(now)
@@ -95,7 +95,7 @@
         table = self.state.table
         if table.statuses[slot] == FlowStatus.CLOSED:
             if self.owns_record(slot):
-                self.silence.repeat_reset(slot, key, now)
+                self.silence_detector.repeat_reset(slot, key, now)
             if not self.state.is_quarantined(slot, now):
                 table.remove(slot)
         elif not self.state.server_permitted(slot):
@@ -124,8 +124,8 @@
         if table.roles[slot] != Role.OWNER or key[0] != PROTOCOL_TCP:
             self.state.remove_flow(slot, Refusal.SERVER_GONE, now)
             return
-        self.silence.send_resets(slot, key, Refusal.SERVER_GONE)
-        self.silence.close_reset_flow(slot, Refusal.SERVER_GONE, now)
+        self.silence_detector.send_resets(slot, key, Refusal.SERVER_GONE)
+        self.silence_detector.close_reset_flow(slot, Refusal.SERVER_GONE, now)
 
     def idle_limit(self, slot: int) -> float:
         """Return the seconds a flow may be idle, by its status."""
@@ -157,8 +157,8 @@
         if table.roles[slot] == Role.BACKUP:
             state.take_ownership(slot, "owner-gone")
         self.repair_backup(slot, now)
-        self.silence.offer_reference_flow(slot, key, now)
-        self.silence.probe_idle_flow(slot, key, now)
+        self.silence_detector.offer_reference_flow(slot, key, now)
+        self.silence_detector.probe_idle_flow(slot, key, now)
 
     def is_orphaned(self, slot: int, place: bytes, now: float) -> bool:
         """Return whether a copy was not claimed by the owner of a newer view."""
