--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -32,12 +32,17 @@
     """
 
     def __init__(
-        self, state: FlowState, caller_handler: CallerPacketHandler, silence: Silence
+        self,
+        state: FlowState,
+        caller_handler: CallerPacketHandler,
+        silence_detector: Silence,
     ) -> None:
         self.state = state
-        self.silence_detector = silence
+        self.silence_detector = silence_detector
         self.caller_handler = caller_handler
-        self.batch_exchange = BatchExchange(state, caller_handler.bindings, silence)
+        self.batch_exchange = BatchExchange(
+            state, caller_handler.bindings, silence_detector
+        )
         self.cursor = 0
         self.due_slots = 0.0
         self.last_tick_time = float("-inf")
