--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -53,7 +53,7 @@
     ) -> None:
         self.state = state
         self.bindings = bindings
-        self.silence = silence
+        self.silence_detector = silence
         self.byte_budget = 0.0
         self.last_batch_number = 0
         self.unconfirmed_batches: dict[int, SentBatch] = {}
@@ -167,7 +167,7 @@
         if slot is None:
             slot = self.add_record(record, now)
         elif table.strikes[slot] == WAS_RESET:
-            self.silence.send_resets(slot, record.key, Refusal.SILENT)
+            self.silence_detector.send_resets(slot, record.key, Refusal.SILENT)
             return None
         self.update_record(slot, record, now)
         return None
