--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -49,11 +49,11 @@
     """
 
     def __init__(
-        self, state: FlowState, bindings: BindingStore, silence: Silence
+        self, state: FlowState, bindings: BindingStore, silence_detector: Silence
     ) -> None:
         self.state = state
         self.bindings = bindings
-        self.silence_detector = silence
+        self.silence_detector = silence_detector
         self.byte_budget = 0.0
         self.last_batch_number = 0
         self.unconfirmed_batches: dict[int, SentBatch] = {}
