--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -146,7 +146,7 @@
             kept = self.store_record(record, now, trusted=False)
             if kept is not None:
                 better.append(kept)
-        answer = BatchStored(batch.number, tuple(better))
+        answer = BatchStored(batch.batch_number, tuple(better))
         self.state.actions.append(SendMessage(sender, answer))
 
     def store_record(
--- a/libs/flows/src/kumquatmux_flows/messages.py
+++ b/libs/flows/src/kumquatmux_flows/messages.py
@@ -37,7 +37,7 @@
 class RecordBatch(NamedTuple):
     """Records for the receiver to keep, confirmed by ``BatchStored``."""
 
-    number: int
+    batch_number: int
     records: tuple[FlowRecord, ...]
 
 
