--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -244,7 +244,7 @@
         self, sender: VmId, stored: BatchStored, now: float
     ) -> None:
         """Note that another VM keeps the records of a batch."""
-        sent = self.unconfirmed_batches.pop(stored.number, None)
+        sent = self.unconfirmed_batches.pop(stored.batch_number, None)
         if sent is None or sent.vm != sender:
             return
         better = {record.key for record in stored.better}
--- a/libs/flows/src/kumquatmux_flows/messages.py
+++ b/libs/flows/src/kumquatmux_flows/messages.py
@@ -44,7 +44,7 @@
 class BatchStored(NamedTuple):
     """A batch is kept; records the receiver knows better come back."""
 
-    number: int
+    batch_number: int
     better: tuple[FlowRecord, ...] = ()
 
 
