Rename better to preferred_records

It holds the records that win at the receiver.

Rename: libs/flows/src/kumquatmux_flows/messages.py better preferred_records

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -247,12 +247,12 @@
         sent = self.unconfirmed_batches.pop(stored.batch_number, None)
         if sent is None or sent.vm != sender:
             return
-        better = {record.key for record in stored.better}
+        better = {record.key for record in stored.preferred_records}
         for record in sent.records:
             slot = self.state.table.slots.get(record.key)
             if slot is not None and record.key not in better:
                 self.confirm_record(slot, sender, now)
-        for record in stored.better:
+        for record in stored.preferred_records:
             self.store_record(record, now, trusted=True)
 
     def confirm_record(self, slot: int, vm: VmId, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/messages.py
+++ b/libs/flows/src/kumquatmux_flows/messages.py
@@ -45,7 +45,7 @@
     """A batch is kept; records the receiver knows better come back."""
 
     batch_number: int
-    better: tuple[FlowRecord, ...] = ()
+    preferred_records: tuple[FlowRecord, ...] = ()
 
 
 class LostRecord(NamedTuple):
