--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -185,8 +185,8 @@
         if opened != (status != FlowStatus.HALF_OPEN):
             return opened
         idle = int(max(self.state.idle_seconds(slot, now), 0.0))
-        if record.idle != idle:
-            return record.idle < idle
+        if record.idle_seconds != idle:
+            return record.idle_seconds < idle
         return record.server < state.server_address_of(slot)
 
     def discard_record(self, slot: int, now: float) -> None:
@@ -223,7 +223,7 @@
         table.server_acks[slot] = record.server_ack
         table.caller_nexts[slot] = record.server_ack
         table.server_nexts[slot] = record.caller_ack
-        table.caller_times[slot] = now - record.idle
+        table.caller_times[slot] = now - record.idle_seconds
         if record.caller_ack:
             table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
         return slot
--- a/libs/flows/src/kumquatmux_flows/messages.py
+++ b/libs/flows/src/kumquatmux_flows/messages.py
@@ -29,7 +29,7 @@
     revision: int
     epoch: int
     status: int
-    idle: int
+    idle_seconds: int
     server_ack: int = 0
     caller_ack: int = 0
 
