--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -63,7 +63,7 @@
     def record_may_exist_elsewhere(self, segment: Segment, now: float) -> bool:
         """Return whether another VM may hold the record of a flow that starts."""
         settings = self.state.settings
-        window = settings.settle_seconds
+        window = settings.view_settle_seconds
         if not segment.is_tcp:
             window = settings.datagram_seconds
         return now - self.state.ranking.changed_at < window
@@ -199,7 +199,7 @@
         """Return whether a record may still turn up: never reset a flow too early."""
         settings = self.state.settings
         ranking = self.state.ranking
-        if now - ranking.changed_at < settings.settle_seconds:
+        if now - ranking.changed_at < settings.view_settle_seconds:
             return True
         window = max(settings.cut_hold_seconds, settings.datagram_seconds)
         if not ranking.count_recent_losses(window, now):
@@ -219,7 +219,7 @@
                 missed.clear()
             missed[segment.key] = now
             return False
-        if now - first < settings.settle_seconds:
+        if now - first < settings.view_settle_seconds:
             return False
         del missed[segment.key]
         return True
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -168,7 +168,7 @@
     def is_orphaned(self, slot: int, place: bytes, now: float) -> bool:
         """Return whether a copy was not claimed by the owner of a newer view."""
         changed = self.state.ranking.owner_change_times.get(place)
-        if changed is None or now - changed < self.state.settings.settle_seconds:
+        if changed is None or now - changed < self.state.settings.view_settle_seconds:
             return False
         return self.state.table.backup_times[slot] < changed
 
