--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -201,10 +201,10 @@
         ranking = self.state.ranking
         if now - ranking.changed_at < settings.view_settle_seconds:
             return True
-        window = max(settings.cut_hold_seconds, settings.datagram_seconds)
+        window = max(settings.partition_hold_seconds, settings.datagram_seconds)
         if not ranking.count_recent_losses(window, now):
             return False
-        return now - ranking.loss_times[-1] < settings.cut_hold_seconds
+        return now - ranking.loss_times[-1] < settings.partition_hold_seconds
 
     def missed_twice(self, segment: Segment, now: float) -> bool:
         """Return whether a flow was missing before, some time ago.
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -52,7 +52,7 @@
     datagram_seconds: float = 30.0
     copy_refresh_seconds: float = 10.0
     view_settle_seconds: float = 3.0
-    cut_hold_seconds: float = 10.0
+    partition_hold_seconds: float = 10.0
     opening_grace_seconds: float = 1.0
     held_datagrams: int = 4
     pending_limit: int = 20_000
