Rename opening_grace_seconds to provisional_slot_seconds

It is how long a new flow holds a provisional server slot.

Rename: libs/flows/src/kumquatmux_flows/settings.py opening_grace_seconds provisional_slot_seconds

--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -121,6 +121,6 @@
         state.log_record("flow-placed", slot, "placement")
         state.start_work(slot)
         state.table.flow_flags[slot] |= FlowFlag.WORK_PROVISIONAL
-        until = now + state.settings.opening_grace_seconds
+        until = now + state.settings.provisional_slot_seconds
         state.provisional_slots.append(ProvisionalSlot(until, event.key, pending.epoch))
         return pending.segments
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -53,7 +53,7 @@
     copy_refresh_seconds: float = 10.0
     view_settle_seconds: float = 3.0
     partition_hold_seconds: float = 10.0
-    opening_grace_seconds: float = 1.0
+    provisional_slot_seconds: float = 1.0
     held_datagrams: int = 4
     pending_limit: int = 20_000
     placement_attempts: int = 2
