--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -33,7 +33,7 @@
             state.log_decision("flow-cancelled", segment.key, "none", "reset-by-caller")
         elif segment.is_tcp:
             state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
-        elif len(pending.segments) < state.settings.held_datagrams:
+        elif len(pending.segments) < state.settings.held_datagram_limit:
             pending.segments.append(segment)
         else:
             state.drop_packet(Refusal.HELD_FULL)
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -54,7 +54,7 @@
     view_settle_seconds: float = 3.0
     partition_hold_seconds: float = 10.0
     provisional_slot_seconds: float = 1.0
-    held_datagrams: int = 4
+    held_datagram_limit: int = 4
     pending_limit: int = 20_000
     placement_attempts: int = 2
     lookup_hops: int = 16
