--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -215,7 +215,7 @@
         missed = self.state.first_miss_times
         first = missed.get(segment.key)
         if first is None or now - first > settings.half_open_seconds:
-            if len(missed) >= settings.pending_limit:
+            if len(missed) >= settings.pending_flow_limit:
                 missed.clear()
             missed[segment.key] = now
             return False
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -46,7 +46,7 @@
             self.refuse_unknown_service(segment)
         elif state.table.retained_count >= state.settings.flow_limit:
             state.refuse_flow(segment, Refusal.TABLE_FULL)
-        elif len(state.pending) >= state.settings.pending_limit:
+        elif len(state.pending) >= state.settings.pending_flow_limit:
             state.refuse_flow(segment, Refusal.TABLE_FULL)
         else:
             state.pending[segment.key] = PendingFlow([segment], service, epoch)
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -55,7 +55,7 @@
     partition_hold_seconds: float = 10.0
     provisional_slot_seconds: float = 1.0
     held_datagram_limit: int = 4
-    pending_limit: int = 20_000
+    pending_flow_limit: int = 20_000
     placement_attempts: int = 2
     lookup_hops: int = 16
     hop_limit: int = 4
