--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -159,7 +159,7 @@
     def next_lookup_vm(self, key: FlowKey, hops: int, origin: VmId) -> VmId | None:
         """Return the VM that a search visits next, None after the last."""
         state = self.state
-        if hops >= state.settings.lookup_hops:
+        if hops >= state.settings.lookup_hop_limit:
             return None
         others = state.ranking.lookup_order(service_key_of(key), origin)
         for vm in others[hops:]:
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -57,7 +57,7 @@
     held_datagram_limit: int = 4
     pending_flow_limit: int = 20_000
     placement_attempts: int = 2
-    lookup_hops: int = 16
+    lookup_hop_limit: int = 16
     hop_limit: int = 4
     sweep_seconds: float = 20.0
     sweep_slots: int = 4_000
