Rename hop_limit to owner_hop_limit

It limits the hops to the owner.

Rename: libs/flows/src/kumquatmux_flows/settings.py hop_limit owner_hop_limit

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -49,7 +49,7 @@
         owner = state.ranking.owner_of(packet.segment.key)
         if owner is None or owner == state.vm or owner == packet.sender:
             return False
-        if packet.passing.hops >= state.settings.hop_limit:
+        if packet.passing.hops >= state.settings.owner_hop_limit:
             return False
         passing = packet.passing._replace(hops=packet.passing.hops + 1)
         state.actions.append(SendToPeer(owner, passing, packet.segment.packet))
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -58,7 +58,7 @@
     pending_flow_limit: int = 20_000
     placement_attempts: int = 2
     lookup_hop_limit: int = 16
-    hop_limit: int = 4
+    owner_hop_limit: int = 4
     sweep_seconds: float = 20.0
     sweep_slots: int = 4_000
     repair_bytes_per_second: float = 2_000.0
