--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -60,7 +60,7 @@
     lookup_hop_limit: int = 16
     owner_hop_limit: int = 4
     sweep_seconds: float = 20.0
-    sweep_slots: int = 4_000
+    sweep_slots_per_tick: int = 4_000
     repair_bytes_per_second: float = 2_000.0
     batch_records: int = 32
     batch_timeout_seconds: float = 1.0
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -82,7 +82,7 @@
         size = len(self.state.table.keys)
         speed = LEAVING_SPEED_FACTOR if self.state.ranking.leaving else 1.0
         self.due_slots += size * elapsed * speed / settings.sweep_seconds
-        whole = min(int(self.due_slots), settings.sweep_slots, size)
+        whole = min(int(self.due_slots), settings.sweep_slots_per_tick, size)
         self.due_slots = min(self.due_slots - whole, float(size))
         return whole
 
