--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -80,7 +80,7 @@
         batch = self.open_batches.setdefault(vm, [])
         self.byte_budget -= RECORD_BYTES + (0 if batch else BATCH_HEADER_BYTES)
         batch.append(self.build_record(slot, now))
-        if len(batch) >= self.state.settings.batch_records:
+        if len(batch) >= self.state.settings.batch_record_limit:
             self.send_batch(vm, now)
 
     def defer_slot(self, slot: int) -> None:
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -62,7 +62,7 @@
     sweep_seconds: float = 20.0
     sweep_slots_per_tick: int = 4_000
     repair_bytes_per_second: float = 2_000.0
-    batch_records: int = 32
+    batch_record_limit: int = 32
     batch_timeout_seconds: float = 1.0
     probe_idle_seconds: float = 30.0
     probe_interval_seconds: float = 5.0
