Rename silent_retransmits to silent_retransmit_limit

It is a limit.

Rename: libs/flows/src/kumquatmux_flows/settings.py silent_retransmits silent_retransmit_limit

--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -68,7 +68,7 @@
     probe_interval_seconds: float = 5.0
     probe_limit: int = 3
     probes_per_second: float = 50.0
-    silent_retransmits: int = 4
+    silent_retransmit_limit: int = 4
     silent_seconds: float = 6.0
     quiet_seconds: float = 3.0
     refresh_on_failure: bool = True
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -132,9 +132,9 @@
         """Note a retransmission, and reset the flow when it was one too many."""
         state = self.state
         settings = state.settings
-        gap = settings.silent_seconds / settings.silent_retransmits
+        gap = settings.silent_seconds / settings.silent_retransmit_limit
         self.strike(slot, gap, now)
-        if state.table.strikes[slot] <= settings.silent_retransmits:
+        if state.table.strikes[slot] <= settings.silent_retransmit_limit:
             return
         state.actions.append(
             ResetServer(segment.key, state.server_address_of(slot), segment.seq)
