Rename lost to lost_vms

It holds the VMs lost since the last view.

Rename: libs/flows/src/kumquatmux_flows/events.py lost lost_vms

--- a/libs/flows/src/kumquatmux_flows/events.py
+++ b/libs/flows/src/kumquatmux_flows/events.py
@@ -102,7 +102,7 @@
     """
 
     live: tuple[Vm, ...]
-    lost: tuple[VmId, ...] = ()
+    lost_vms: tuple[VmId, ...] = ()
 
 
 class ServiceRoute(NamedTuple):
