Rename suspect to record_maybe_lost

It says that the record of the flow may be lost.

Rename: libs/flows/src/kumquatmux_flows/events.py suspect record_maybe_lost

--- a/libs/flows/src/kumquatmux_flows/events.py
+++ b/libs/flows/src/kumquatmux_flows/events.py
@@ -58,7 +58,7 @@
     hops: int = 0
     binding: Binding | None = None
     origin: VmId = VmId("")
-    suspect: bool = False
+    record_maybe_lost: bool = False
 
 
 class CallerPacket(NamedTuple):
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -212,7 +212,7 @@
         stage = Stage.LOOKUP if target is not None else Stage.MISS
         window = state.settings.datagram_seconds
         lost = state.ranking.count_recent_losses(window, now) > 0
-        suspect = packet.passing.suspect or lost
+        suspect = packet.passing.record_maybe_lost or lost
         doubted = packet.passing.binding
         passing = Passing(stage, hops + 1, doubted, origin, suspect)
         vm = target if target is not None else origin
@@ -245,7 +245,7 @@
 
     def handle_miss(self, packet: PeerPacket, now: float) -> None:
         """Decide about a packet whose record no live VM has."""
-        suspect = packet.passing.suspect
+        suspect = packet.passing.record_maybe_lost
         self.caller_handler.handle_lookup_miss(packet.segment, now, suspect=suspect)
 
     def handle_reply_to_owner(self, packet: PeerPacket, now: float) -> None:
