Rename passing to header

It is the header between entry VMs.

Rename: libs/flows/src/kumquatmux_flows/events.py passing header

--- a/libs/flows/src/kumquatmux_flows/events.py
+++ b/libs/flows/src/kumquatmux_flows/events.py
@@ -82,7 +82,7 @@
     """
 
     sender: VmId
-    passing: Passing
+    header: Passing
     segment: Segment
 
 
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -37,7 +37,7 @@
 
     def handle_packet(self, packet: PeerPacket, now: float) -> None:
         """Handle a packet by its stage."""
-        self.stage_handlers[packet.passing.stage](packet, now)
+        self.stage_handlers[packet.header.stage](packet, now)
 
     def forward_to_owner(self, packet: PeerPacket) -> bool:
         """Pass a packet on if another VM owns its flow; return whether it was.
@@ -49,9 +49,9 @@
         owner = state.ranking.owner_of(packet.segment.key)
         if owner is None or owner == state.vm or owner == packet.sender:
             return False
-        if packet.passing.hops >= state.settings.owner_hop_limit:
+        if packet.header.hops >= state.settings.owner_hop_limit:
             return False
-        passing = packet.passing._replace(hops=packet.passing.hops + 1)
+        passing = packet.header._replace(hops=packet.header.hops + 1)
         state.actions.append(SendToPeer(owner, passing, packet.segment.packet))
         return True
 
@@ -88,7 +88,7 @@
 
     def handle_store(self, packet: PeerPacket, now: float) -> None:
         """Keep the second copy of a record, then forward its packet."""
-        binding = packet.passing.binding
+        binding = packet.header.binding
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
             return
@@ -147,11 +147,11 @@
         """Answer a search, or send it on to the next VM."""
         state = self.state
         segment = packet.segment
-        origin = packet.passing.origin
+        origin = packet.header.origin
         if segment.key in state.pending:
             state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
             return
-        doubted = packet.passing.binding is not None
+        doubted = packet.header.binding is not None
         binding = self.find_binding(segment, now, doubted=doubted)
         if binding is not None:
             passing = Passing(Stage.ADOPT, 0, binding)
@@ -206,21 +206,21 @@
     def continue_lookup(self, packet: PeerPacket, now: float) -> None:
         """Send a search to the next VM, or tell its origin that nobody knows."""
         state = self.state
-        hops = packet.passing.hops
-        origin = packet.passing.origin
+        hops = packet.header.hops
+        origin = packet.header.origin
         target = self.caller_handler.next_lookup_vm(packet.segment.key, hops, origin)
         stage = Stage.LOOKUP if target is not None else Stage.MISS
         window = state.settings.datagram_seconds
         lost = state.ranking.count_recent_losses(window, now) > 0
-        suspect = packet.passing.record_maybe_lost or lost
-        doubted = packet.passing.binding
+        suspect = packet.header.record_maybe_lost or lost
+        doubted = packet.header.binding
         passing = Passing(stage, hops + 1, doubted, origin, suspect)
         vm = target if target is not None else origin
         state.actions.append(SendToPeer(vm, passing, packet.segment.packet))
 
     def handle_adopt(self, packet: PeerPacket, now: float) -> None:
         """Take a record that a search or a correction found."""
-        binding = packet.passing.binding
+        binding = packet.header.binding
         segment = packet.segment
         slot = None
         if binding is not None:
@@ -233,7 +233,7 @@
         kept = (
             binding is not None and self.state.server_address_of(slot) != binding.server
         )
-        if kept and packet.passing.hops == CORRECTION_HOPS:
+        if kept and packet.header.hops == CORRECTION_HOPS:
             self.state.drop_packet(Refusal.CONFLICT)
             return
         if self.owns_flow(segment):
@@ -245,12 +245,12 @@
 
     def handle_miss(self, packet: PeerPacket, now: float) -> None:
         """Decide about a packet whose record no live VM has."""
-        suspect = packet.passing.record_maybe_lost
+        suspect = packet.header.record_maybe_lost
         self.caller_handler.handle_lookup_miss(packet.segment, now, suspect=suspect)
 
     def handle_reply_to_owner(self, packet: PeerPacket, now: float) -> None:
         """Handle a reply another VM passed on."""
-        binding = packet.passing.binding
+        binding = packet.header.binding
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
         elif not self.forward_to_owner(packet):
@@ -258,7 +258,7 @@
 
     def handle_reply_close(self, packet: PeerPacket, now: float) -> None:
         """Handle the end of a flow as its backup."""
-        binding = packet.passing.binding
+        binding = packet.header.binding
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
             return
