--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -20,10 +20,10 @@
     """
 
     def __init__(
-        self, state: FlowState, copies: Copies, ack_validator: AckValidator
+        self, state: FlowState, backup_copies: Copies, ack_validator: AckValidator
     ) -> None:
         self.state = state
-        self.copies = copies
+        self.copies = backup_copies
         self.ack_validator = ack_validator
 
     def store_binding(
