--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -23,7 +23,7 @@
         self, state: FlowState, backup_copies: Copies, ack_validator: AckValidator
     ) -> None:
         self.state = state
-        self.copies = backup_copies
+        self.backup_copies = backup_copies
         self.ack_validator = ack_validator
 
     def store_binding(
@@ -114,7 +114,7 @@
         """Tell the holder of the second copy that the record has lost."""
         state = self.state
         key = state.table.keys[slot]
-        holder = self.copies.backup_vm_of(slot)
+        holder = self.backup_copies.backup_vm_of(slot)
         if key is None or holder is None:
             return
         lost = LostRecord(key, state.server_address_of(slot))
