--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -31,9 +31,9 @@
 
     def __init__(self, state: FlowState, silence_detector: Silence) -> None:
         self.state = state
-        self.copies = Copies(state)
+        self.backup_copies = Copies(state)
         self.ack_validator = AckValidator(state)
-        self.bindings = BindingStore(state, self.copies, self.ack_validator)
+        self.bindings = BindingStore(state, self.backup_copies, self.ack_validator)
         self.placing = Placing(state)
         self.tracking = FlowTracker(state, silence_detector)
 
@@ -129,10 +129,10 @@
         self.tracking.track_packet(slot, segment, now)
         if table.statuses[slot] == FlowStatus.CLOSED:
             return
-        if segment.flags & LIFECYCLE_FLAGS or not self.copies.backup_is_current(
+        if segment.flags & LIFECYCLE_FLAGS or not self.backup_copies.backup_is_current(
             slot, now
         ):
-            self.copies.by_backup(slot, segment, now)
+            self.backup_copies.by_backup(slot, segment, now)
         else:
             state.to_server(slot, segment)
         self.tracking.track_close(slot, segment, now)
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -179,7 +179,7 @@
         if segment.flags & FLAG_ACK:
             self.silence_detector.handle_reply_ack(slot, segment.ack, now)
         if segment.flags & FLAG_ACK or not segment.is_tcp:
-            self.caller_handler.copies.confirm_backup(slot, segment.ack)
+            self.caller_handler.backup_copies.confirm_backup(slot, segment.ack)
         if segment.payload_length:
             state.finish_work(slot)
         if segment.flags & CLOSE_FLAGS:
@@ -195,7 +195,7 @@
         else:
             state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
             self.caller_handler.tracking.handle_fin(slot, now)
-        backup = self.caller_handler.copies.backup_vm_of(slot)
+        backup = self.caller_handler.backup_copies.backup_vm_of(slot)
         if backup is None:
             self.send_to_caller(segment)
             return
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -186,7 +186,7 @@
         """Give the backup a record that no packet has brought to it."""
         state = self.state
         table = state.table
-        backup = self.caller_handler.copies.backup_vm_of(slot)
+        backup = self.caller_handler.backup_copies.backup_vm_of(slot)
         if backup is None:
             return
         if self.state.idle_seconds(slot, now) < IDLE_BEFORE_REPAIR_SECONDS:
