--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -34,7 +34,7 @@
         self.backup_copies = Copies(state)
         self.ack_validator = AckValidator(state)
         self.bindings = BindingStore(state, self.backup_copies, self.ack_validator)
-        self.placing = Placing(state)
+        self.flow_placement = Placing(state)
         self.tracking = FlowTracker(state, silence_detector)
 
     def handle_packet(self, segment: Segment, now: float) -> None:
@@ -48,11 +48,11 @@
     def handle_without_record(self, segment: Segment, now: float) -> None:
         """Handle a packet whose flow this owner does not know."""
         if segment.key in self.state.pending:
-            self.placing.handle_pending_packet(segment)
+            self.flow_placement.handle_pending_packet(segment)
         elif self.may_start_flow(segment) and not self.record_may_exist_elsewhere(
             segment, now
         ):
-            self.placing.request_placement(segment, epoch=1)
+            self.flow_placement.request_placement(segment, epoch=1)
         else:
             self.start_lookup(segment, now)
 
@@ -70,7 +70,7 @@
 
     def handle_placed(self, event: FlowPlaced, now: float) -> None:
         """Forward what was held of a flow that has a server now."""
-        for segment in self.placing.bind_flow(event, now):
+        for segment in self.flow_placement.bind_flow(event, now):
             self.handle_with_record(self.state.table.slots[event.key], segment, now)
 
     def handle_with_record(self, slot: int, segment: Segment, now: float) -> None:
@@ -110,7 +110,7 @@
         epoch = state.table.epochs[slot] + 1
         state.table.remove(slot)
         if starts:
-            self.placing.request_placement(segment, epoch)
+            self.flow_placement.request_placement(segment, epoch)
         else:
             self.start_lookup(segment, now)
 
@@ -273,11 +273,11 @@
         """Place a flow that nobody knows, unless its record may have been lost."""
         state = self.state
         if segment.key in state.pending:
-            self.placing.handle_pending_packet(segment)
+            self.flow_placement.handle_pending_packet(segment)
             return
         window = state.settings.datagram_seconds
         lost = state.ranking.count_recent_losses(window, now)
         if not segment.is_tcp and (lost or suspect):
             state.refuse_flow(segment, Refusal.RECORD_MAYBE_LOST)
             return
-        self.placing.request_placement(segment, epoch=1)
+        self.flow_placement.request_placement(segment, epoch=1)
