--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -35,7 +35,7 @@
         self.ack_validator = AckValidator(state)
         self.bindings = BindingStore(state, self.backup_copies, self.ack_validator)
         self.flow_placement = Placing(state)
-        self.tracking = FlowTracker(state, silence_detector)
+        self.flow_tracker = FlowTracker(state, silence_detector)
 
     def handle_packet(self, segment: Segment, now: float) -> None:
         """Handle a caller's packet as the owner of its flow."""
@@ -126,7 +126,7 @@
         state = self.state
         table = state.table
         table.caller_times[slot] = now
-        self.tracking.track_packet(slot, segment, now)
+        self.flow_tracker.track_packet(slot, segment, now)
         if table.statuses[slot] == FlowStatus.CLOSED:
             return
         if segment.flags & LIFECYCLE_FLAGS or not self.backup_copies.backup_is_current(
@@ -135,7 +135,7 @@
             self.backup_copies.by_backup(slot, segment, now)
         else:
             state.to_server(slot, segment)
-        self.tracking.track_close(slot, segment, now)
+        self.flow_tracker.track_close(slot, segment, now)
 
     def start_lookup(self, segment: Segment, now: float) -> None:
         """Send a packet in search of its record, or decide without."""
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -118,7 +118,7 @@
             state.close_flow(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
             table.flow_flags[slot] |= FlowFlag.CALLER_FIN
-            self.caller_handler.tracking.handle_fin(slot, now)
+            self.caller_handler.flow_tracker.handle_fin(slot, now)
 
     def update_backup_record(self, slot: int, segment: Segment, now: float) -> None:
         """Note what a stored packet shows of its flow."""
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -194,7 +194,7 @@
             state.close_flow(slot, "reset-by-server", now)
         else:
             state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
-            self.caller_handler.tracking.handle_fin(slot, now)
+            self.caller_handler.flow_tracker.handle_fin(slot, now)
         backup = self.caller_handler.backup_copies.backup_vm_of(slot)
         if backup is None:
             self.send_to_caller(segment)
@@ -212,7 +212,7 @@
                 state.close_flow(slot, "reset-by-server", now)
             else:
                 state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
-                self.caller_handler.tracking.handle_fin(slot, now)
+                self.caller_handler.flow_tracker.handle_fin(slot, now)
         self.send_to_caller(segment)
 
     def send_to_caller(self, segment: Segment) -> None:
