--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -33,7 +33,7 @@
         self.state = state
         self.backup_copies = Copies(state)
         self.ack_validator = AckValidator(state)
-        self.bindings = BindingStore(state, self.backup_copies, self.ack_validator)
+        self.binding_store = BindingStore(state, self.backup_copies, self.ack_validator)
         self.flow_placement = Placing(state)
         self.flow_tracker = FlowTracker(state, silence_detector)
 
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -93,7 +93,7 @@
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
             return
         segment = packet.segment
-        slot = self.caller_handler.bindings.store_binding(
+        slot = self.caller_handler.binding_store.store_binding(
             binding, segment, Role.BACKUP, now
         )
         if slot is None:
@@ -224,7 +224,7 @@
         segment = packet.segment
         slot = None
         if binding is not None:
-            slot = self.caller_handler.bindings.store_binding(
+            slot = self.caller_handler.binding_store.store_binding(
                 binding, segment, Role.OWNER, now
             )
         if slot is None:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -41,7 +41,7 @@
         self.silence_detector = silence_detector
         self.caller_handler = caller_handler
         self.batch_exchange = BatchExchange(
-            state, caller_handler.bindings, silence_detector
+            state, caller_handler.binding_store, silence_detector
         )
         self.cursor = 0
         self.due_slots = 0.0
