--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -52,7 +52,7 @@
         self, state: FlowState, bindings: BindingStore, silence_detector: Silence
     ) -> None:
         self.state = state
-        self.bindings = bindings
+        self.binding_store = bindings
         self.silence_detector = silence_detector
         self.byte_budget = 0.0
         self.last_batch_number = 0
@@ -199,7 +199,7 @@
             seq = state.table.server_acks[slot]
             state.actions.append(ResetServer(key, state.server_address_of(slot), seq))
         if was_owner:
-            self.bindings.drop_backup_copy(slot)
+            self.binding_store.drop_backup_copy(slot)
         state.remove_flow(slot, Refusal.CONFLICT, now)
 
     def handle_lost_record(self, lost: LostRecord, now: float) -> None:
