--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -49,10 +49,10 @@
     """
 
     def __init__(
-        self, state: FlowState, bindings: BindingStore, silence_detector: Silence
+        self, state: FlowState, binding_store: BindingStore, silence_detector: Silence
     ) -> None:
         self.state = state
-        self.binding_store = bindings
+        self.binding_store = binding_store
         self.silence_detector = silence_detector
         self.byte_budget = 0.0
         self.last_batch_number = 0
