--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -73,7 +73,9 @@
         self.peer_handler = PeerPacketHandler(
             self.state, self.caller_handler, self.reply_handler
         )
-        self.sweep = TableSweep(self.state, self.caller_handler, self.silence_detector)
+        self.table_sweep = TableSweep(
+            self.state, self.caller_handler, self.silence_detector
+        )
         self.owned_services: list[bool] = []
         self.backup_numbers: list[dict[str, int]] = []
 
@@ -124,13 +126,15 @@
     @apply_event.register
     def _(self, event: PeerMessage, now: float) -> None:
         if isinstance(event.message, RecordBatch):
-            self.sweep.batch_exchange.handle_batch(event.sender, event.message, now)
+            self.table_sweep.batch_exchange.handle_batch(
+                event.sender, event.message, now
+            )
         elif isinstance(event.message, BatchStored):
-            self.sweep.batch_exchange.handle_batch_stored(
+            self.table_sweep.batch_exchange.handle_batch_stored(
                 event.sender, event.message, now
             )
         else:
-            self.sweep.batch_exchange.handle_lost_record(event.message, now)
+            self.table_sweep.batch_exchange.handle_lost_record(event.message, now)
 
     @apply_event.register
     def _(self, event: ViewChanged, now: float) -> None:
@@ -153,7 +157,7 @@
 
     @apply_event.register
     def _(self, event: Tick, now: float) -> None:
-        self.sweep.tick(now)
+        self.table_sweep.tick(now)
 
     @apply_event.register
     def _(self, event: Leaving, now: float) -> None:
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -198,7 +198,7 @@
     unconfirmed = tick_for(made, SETTLED, 20.0)
     assert not any(isinstance(action, Quiet) for action in unconfirmed)
     made.state.table.backup_vms[0] = 0
-    batch = made.sweep.batch_exchange.unconfirmed_batches
+    batch = made.table_sweep.batch_exchange.unconfirmed_batches
     for step in range(300):
         now = SETTLED + 20 + step / 10
         actions = made.handle(Tick(), now)
@@ -228,7 +228,7 @@
 def test_batches_survive_the_codec() -> None:
     made = cases.engine()
     cases.open_flow(made, cases.key_of(1))
-    record = made.sweep.batch_exchange.build_record(
+    record = made.table_sweep.batch_exchange.build_record(
         made.state.table.slots[cases.key_of(1)], SETTLED
     )
     batch = RecordBatch(1, (record,))
