Rename until to expires_at

It holds the time at which the slot expires.

Rename: libs/flows/src/kumquatmux_flows/state.py until expires_at

--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -55,7 +55,7 @@
         epoch: Its epoch, so that a later flow of the key keeps its slot.
     """
 
-    until: float
+    expires_at: float
     key: FlowKey
     epoch: int
 
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -201,7 +201,7 @@
         """Give back the slots of new flows that sent nothing."""
         state = self.state
         table = state.table
-        while state.provisional_slots and state.provisional_slots[0].until <= now:
+        while state.provisional_slots and state.provisional_slots[0].expires_at <= now:
             grace = state.provisional_slots.popleft()
             slot = table.slots.get(grace.key)
             if slot is None or table.epochs[slot] != grace.epoch:
