--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -81,7 +81,7 @@
             return
         if not state.routes.permits(number, service):
             return
-        if state.settings.learned_record_limit <= 0:
+        if state.settings.learned_limit <= 0:
             return
         self.evict_learned_records()
         slot = state.table.add(segment.key, Role.LEARNED, number, service)
@@ -95,14 +95,11 @@
         state = self.state
         table = state.table
         order = state.learned_keys
-        while (
-            table.role_counts[Role.LEARNED] >= state.settings.learned_record_limit
-            and order
-        ):
+        while table.role_counts[Role.LEARNED] >= state.settings.learned_limit and order:
             slot = table.slots.get(order.popleft())
             if slot is not None and table.roles[slot] == Role.LEARNED:
                 table.remove(slot)
-        if len(order) > LEARNED_KEYS_FACTOR * state.settings.learned_record_limit:
+        if len(order) > LEARNED_KEYS_FACTOR * state.settings.learned_limit:
             state.learned_keys = deque(
                 dict.fromkeys(filter(self.has_learned_record, order))
             )
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -43,7 +43,7 @@
     """
 
     flow_limit: int = 400_000
-    learned_record_limit: int = 100_000
+    learned_limit: int = 100_000
     learned_fresh_seconds: float = 4.0
     quarantine_seconds: float = 10.0
     half_open_seconds: float = 30.0
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -104,7 +104,7 @@
 
 
 def test_learned_records_are_bounded_and_spare_owned_ones() -> None:
-    made = cases.engine(settings=FlowSettings(learned_record_limit=3))
+    made = cases.engine(settings=FlowSettings(learned_limit=3))
     cases.open_flow(made, cases.key_of(1))
     for port in range(2, 12):
         reply = cases.segment(cases.key_of(port), seq=5, ack=6, length=7)
