--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -125,7 +125,7 @@
         self.last_batch_number += 1
         until = now + self.state.settings.batch_timeout_seconds
         self.unconfirmed_batches[self.last_batch_number] = SentBatch(vm, until, records)
-        self.state.actions.append(
+        self.state.out.append(
             SendMessage(vm, RecordBatch(self.last_batch_number, records))
         )
 
@@ -147,7 +147,7 @@
             if kept is not None:
                 better.append(kept)
         answer = BatchStored(batch.batch_number, tuple(better))
-        self.state.actions.append(SendMessage(sender, answer))
+        self.state.out.append(SendMessage(sender, answer))
 
     def store_record(
         self, record: FlowRecord, now: float, *, trusted: bool
@@ -197,7 +197,7 @@
         is_tcp = state.table.statuses[slot] != FlowStatus.UDP_ACTIVE
         if key is not None and was_owner and is_tcp and state.server_permitted(slot):
             seq = state.table.server_acks[slot]
-            state.actions.append(ResetServer(key, state.server_address_of(slot), seq))
+            state.out.append(ResetServer(key, state.server_address_of(slot), seq))
         if was_owner:
             self.binding_store.drop_backup_copy(slot)
         state.remove_flow(slot, Refusal.CONFLICT, now)
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -106,7 +106,7 @@
             and segment.is_tcp
         ):
             seq = state.table.server_acks[slot]
-            state.actions.append(ResetServer(key, state.server_address_of(slot), seq))
+            state.out.append(ResetServer(key, state.server_address_of(slot), seq))
         self.drop_backup_copy(slot)
         state.remove_flow(slot, Refusal.CONFLICT, now)
 
@@ -118,7 +118,7 @@
         if key is None or holder is None:
             return
         lost = LostRecord(key, state.server_address_of(slot))
-        state.actions.append(SendMessage(holder, lost))
+        state.out.append(SendMessage(holder, lost))
 
     def add_record(
         self, binding: Binding, segment: Segment, role: Role, now: float
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -119,7 +119,7 @@
         if segment.flags & FLAG_RST:
             self.state.drop_packet(Refusal.SILENT)
             return
-        self.state.actions.append(ResetCaller(segment, Refusal.SILENT))
+        self.state.out.append(ResetCaller(segment, Refusal.SILENT))
 
     def forward_packet(self, slot: int, segment: Segment, now: float) -> None:
         """Send a packet to its server, by the backup while that lacks the record."""
@@ -146,7 +146,7 @@
         passing = Passing(
             Stage.LOOKUP, 1, self.disputed_binding(segment), self.state.vm
         )
-        self.state.actions.append(SendToPeer(target, passing, segment.packet))
+        self.state.out.append(SendToPeer(target, passing, segment.packet))
 
     def disputed_binding(self, segment: Segment) -> Binding | None:
         """Return the record here that a search is to confirm or to replace."""
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -55,7 +55,7 @@
             return
         self.record_backup_sent(slot, next_seq(segment), now)
         passing = Passing(Stage.STORE, 0, state.binding_of(slot))
-        state.actions.append(SendToPeer(backup, passing, segment.packet))
+        state.out.append(SendToPeer(backup, passing, segment.packet))
 
     def record_backup_sent(self, slot: int, seq: int, now: float) -> None:
         """Remember that the backup was sent the record with a packet."""
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -92,8 +92,8 @@
 
     def drain(self) -> list[Action]:
         """Return the actions that have gathered, and forget them."""
-        actions = self.state.actions
-        self.state.actions = []
+        actions = self.state.out
+        self.state.out = []
         return actions
 
     @singledispatchmethod
@@ -111,7 +111,7 @@
             self.caller_handler.handle_packet(segment, now)
             return
         passing = Passing(Stage.TO_OWNER, 1)
-        state.actions.append(SendToPeer(owner, passing, segment.packet))
+        state.out.append(SendToPeer(owner, passing, segment.packet))
 
     @apply_event.register
     def _(self, event: ServerPacket, now: float) -> None:
@@ -177,10 +177,10 @@
     def move_pending_flow(self, key: FlowKey, owner: VmId) -> None:
         """Pass a held flow to its new owner; nothing of it was forwarded yet."""
         state = self.state
-        state.actions.append(CancelPlacement(key))
+        state.out.append(CancelPlacement(key))
         for segment in state.pending.pop(key).segments:
             passing = Passing(Stage.TO_OWNER, 1)
-            state.actions.append(SendToPeer(owner, passing, segment.packet))
+            state.out.append(SendToPeer(owner, passing, segment.packet))
 
     def cache_service_owners(self) -> None:
         """Keep, for the fast path, who owns and who backs up each service number."""
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -52,7 +52,7 @@
         if packet.header.hops >= state.settings.owner_hop_limit:
             return False
         passing = packet.header._replace(hops=packet.header.hops + 1)
-        state.actions.append(SendToPeer(owner, passing, packet.segment.packet))
+        state.out.append(SendToPeer(owner, passing, packet.segment.packet))
         return True
 
     def handle_to_owner(self, packet: PeerPacket, now: float) -> None:
@@ -141,7 +141,7 @@
         """Give an owner the better record this VM has, with its packet."""
         passing = Passing(Stage.ADOPT, CORRECTION_HOPS, self.state.binding_of(slot))
         peer = SendToPeer(packet.sender, passing, packet.segment.packet)
-        self.state.actions.append(peer)
+        self.state.out.append(peer)
 
     def handle_lookup(self, packet: PeerPacket, now: float) -> None:
         """Answer a search, or send it on to the next VM."""
@@ -155,7 +155,7 @@
         binding = self.find_binding(segment, now, doubted=doubted)
         if binding is not None:
             passing = Passing(Stage.ADOPT, 0, binding)
-            state.actions.append(SendToPeer(origin, passing, segment.packet))
+            state.out.append(SendToPeer(origin, passing, segment.packet))
         elif not self.drop_if_quarantined(segment, now):
             self.continue_lookup(packet, now)
 
@@ -216,7 +216,7 @@
         doubted = packet.header.binding
         passing = Passing(stage, hops + 1, doubted, origin, suspect)
         vm = target if target is not None else origin
-        state.actions.append(SendToPeer(vm, passing, packet.segment.packet))
+        state.out.append(SendToPeer(vm, passing, packet.segment.packet))
 
     def handle_adopt(self, packet: PeerPacket, now: float) -> None:
         """Take a record that a search or a correction found."""
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -29,7 +29,7 @@
         pending = state.pending[segment.key]
         if segment.flags & FLAG_RST:
             del state.pending[segment.key]
-            state.actions.append(CancelPlacement(segment.key))
+            state.out.append(CancelPlacement(segment.key))
             state.log_decision("flow-cancelled", segment.key, "none", "reset-by-caller")
         elif segment.is_tcp:
             state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
@@ -50,7 +50,7 @@
             state.refuse_flow(segment, Refusal.TABLE_FULL)
         else:
             state.pending[segment.key] = PendingFlow([segment], service, epoch)
-            state.actions.append(
+            state.out.append(
                 AskPlacement(segment.key, state.routes.service_names[service])
             )
 
@@ -66,12 +66,12 @@
         """Ask again when the chosen server may not get the flow; nothing was sent."""
         state = self.state
         name = state.routes.service_names[pending.service]
-        state.actions.append(FlowClosed(event.key, event.server))
+        state.out.append(FlowClosed(event.key, event.server))
         state.request_route_refresh(Refusal.SERVER_GONE, name, event.server)
         if pending.attempts < state.settings.placement_attempts:
             retry = pending._replace(attempts=pending.attempts + 1)
             state.pending[event.key] = retry
-            state.actions.append(AskPlacement(event.key, name))
+            state.out.append(AskPlacement(event.key, name))
             return
         for segment in pending.segments:
             state.refuse_flow(segment, Refusal.SERVER_GONE)
@@ -82,7 +82,7 @@
         if pending is None:
             return
         for segment in pending.segments:
-            self.state.actions.append(ResetCaller(segment, event.reason))
+            self.state.out.append(ResetCaller(segment, event.reason))
         self.state.log_decision("flow-refused", event.key, "none", event.reason)
 
     def add_placed_record(self, key: FlowKey, server: int, pending: PendingFlow) -> int:
@@ -109,7 +109,7 @@
         state = self.state
         pending = state.pending.pop(event.key, None)
         if pending is None:
-            state.actions.append(FlowClosed(event.key, event.server))
+            state.out.append(FlowClosed(event.key, event.server))
             return []
         server = state.routes.server_number(
             event.server, state.routes.service_names[pending.service]
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -39,7 +39,7 @@
         if not self.learn_flow(segment, server, now):
             return
         passing = Passing(Stage.REPLY_TO_OWNER, 1, Binding(server, 0, 0))
-        self.state.actions.append(SendToPeer(owner, passing, segment.packet))
+        self.state.out.append(SendToPeer(owner, passing, segment.packet))
 
     def learn_flow(self, segment: Segment, server: Address, now: float) -> bool:
         """Keep what a reply shows of its flow.
@@ -197,7 +197,7 @@
             self.send_to_caller(segment)
             return
         passing = Passing(Stage.REPLY_CLOSE, 0, state.binding_of(slot))
-        state.actions.append(SendToPeer(backup, passing, segment.packet))
+        state.out.append(SendToPeer(backup, passing, segment.packet))
 
     def close_as_backup(self, segment: Segment, binding: Binding, now: float) -> None:
         """Follow, as the backup, the end a server gives to a flow."""
@@ -216,4 +216,4 @@
         """Send a reply to its caller from the service address."""
         key = segment.key
         service = Address(key[5:9] + key[11:13])
-        self.state.actions.append(SendToCaller(service, segment.packet))
+        self.state.out.append(SendToCaller(service, segment.packet))
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -90,7 +90,7 @@
         self.probed_servers.add(server)
         seq = table.server_acks[other] - 1 & SEQUENCE_MASK
         ack = table.server_nexts[other]
-        state.actions.append(ProbeServer(key, state.server_address_of(other), seq, ack))
+        state.out.append(ProbeServer(key, state.server_address_of(other), seq, ack))
 
     def reference_slot(self, server: int) -> int | None:
         """Return the slot of a server's witness, None if it can be none any more."""
@@ -136,10 +136,10 @@
         self.strike(slot, gap, now)
         if state.table.strikes[slot] <= settings.silent_retransmit_limit:
             return
-        state.actions.append(
+        state.out.append(
             ResetServer(segment.key, state.server_address_of(slot), segment.seq)
         )
-        state.actions.append(ResetCaller(segment, Refusal.SILENT))
+        state.out.append(ResetCaller(segment, Refusal.SILENT))
         self.close_reset_flow(slot, Refusal.SILENT, now)
 
     def close_reset_flow(self, slot: int, reason: Refusal, now: float) -> None:
@@ -194,12 +194,12 @@
         server_ack = table.server_acks[slot]
         caller_ack = table.server_nexts[slot]
         seq = (server_ack or table.caller_nexts[slot]) - 1 & SEQUENCE_MASK
-        state.actions.append(
+        state.out.append(
             ProbeServer(key, state.server_address_of(slot), seq, caller_ack)
         )
         if server_ack and table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN:
             seq = caller_ack - 1 & SEQUENCE_MASK
-            state.actions.append(ProbeCaller(key, seq, server_ack))
+            state.out.append(ProbeCaller(key, seq, server_ack))
 
     def send_resets(self, slot: int, key: FlowKey, reason: Refusal) -> None:
         """Send a reset to each end with the numbers known here.
@@ -212,13 +212,13 @@
         server_ack = table.server_acks[slot] or table.caller_nexts[slot]
         caller_ack = table.server_nexts[slot]
         if state.server_permitted(slot):
-            state.actions.append(
+            state.out.append(
                 ResetServer(key, state.server_address_of(slot), server_ack)
             )
         segment = Segment(key, FLAG_ACK, server_ack, caller_ack, 0, b"")
-        state.actions.append(ResetCaller(segment, reason))
+        state.out.append(ResetCaller(segment, reason))
         before = caller_ack - 1 & SEQUENCE_MASK
-        state.actions.append(ProbeCaller(key, before, server_ack))
+        state.out.append(ProbeCaller(key, before, server_ack))
 
     def repeat_reset(self, slot: int, key: FlowKey, now: float) -> None:
         """Reset a silent flow again while its key is in quarantine: resets get lost."""
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -93,7 +93,7 @@
         self.table = FlowTable()
         self.routes = Routes()
         self.ranking = Ranking(vm)
-        self.actions: list[Action] = []
+        self.out: list[Action] = []
         self.pending: dict[FlowKey, PendingFlow] = {}
         self.provisional_slots: deque[ProvisionalSlot] = deque()
         self.first_miss_times: dict[FlowKey, float] = {}
@@ -139,17 +139,17 @@
         """Forward a packet to the server of a record, after the last rule check."""
         if not self.server_permitted(slot):
             raise ValueError("a packet was about to reach another service's server")
-        self.actions.append(SendToServer(self.server_address_of(slot), segment.packet))
+        self.out.append(SendToServer(self.server_address_of(slot), segment.packet))
 
     def drop_packet(self, reason: Refusal) -> None:
         """Count a packet that goes nowhere."""
-        self.actions.append(Dropped(reason))
+        self.out.append(Dropped(reason))
 
     def refuse_flow(
         self, segment: Segment, reason: Refusal, server: str = "none"
     ) -> None:
         """Tell a caller that its flow has no route."""
-        self.actions.append(ResetCaller(segment, reason))
+        self.out.append(ResetCaller(segment, reason))
         self.log_decision("flow-refused", segment.key, server, reason)
 
     def request_route_refresh(
@@ -157,7 +157,7 @@
     ) -> None:
         """Ask for a fresh route after a failure."""
         if self.settings.refresh_on_failure:
-            self.actions.append(RefreshRoute(reason, service, server))
+            self.out.append(RefreshRoute(reason, service, server))
 
     def start_work(self, slot: int) -> None:
         """Take a slot of the server, unless the flow holds one."""
@@ -165,7 +165,7 @@
         if key is None or self.table.flow_flags[slot] & FlowFlag.WORK_PENDING:
             return
         self.table.flow_flags[slot] |= FlowFlag.WORK_PENDING
-        self.actions.append(WorkStarted(key, self.server_address_of(slot)))
+        self.out.append(WorkStarted(key, self.server_address_of(slot)))
 
     def finish_work(self, slot: int) -> None:
         """Give the slot back, if the flow holds one."""
@@ -175,7 +175,7 @@
         self.table.flow_flags[slot] &= (
             ~(FlowFlag.WORK_PENDING | FlowFlag.WORK_PROVISIONAL) & 0xFF
         )
-        self.actions.append(WorkAnswered(key, self.server_address_of(slot)))
+        self.out.append(WorkAnswered(key, self.server_address_of(slot)))
 
     def take_ownership(self, slot: int, reason: str) -> None:
         """Become the owner of a record placed elsewhere."""
@@ -189,7 +189,7 @@
         self.table.flow_flags[slot] &= kept
         self.table.strikes[slot] = 0
         if self.table.statuses[slot] != FlowStatus.CLOSED:
-            self.actions.append(
+            self.out.append(
                 FlowAdopted(
                     key, self.server_address_of(slot), self.service_name_of(slot)
                 )
@@ -202,7 +202,7 @@
         if key is None or self.table.roles[slot] != Role.OWNER:
             return
         if self.table.statuses[slot] != FlowStatus.CLOSED:
-            self.actions.append(FlowClosed(key, self.server_address_of(slot)))
+            self.out.append(FlowClosed(key, self.server_address_of(slot)))
         self.table.flow_flags[slot] &= (
             ~(FlowFlag.WORK_PENDING | FlowFlag.WORK_PROVISIONAL) & 0xFF
         )
@@ -215,7 +215,7 @@
         if key is None or self.table.statuses[slot] == FlowStatus.CLOSED:
             return
         if self.table.roles[slot] == Role.OWNER:
-            self.actions.append(FlowClosed(key, self.server_address_of(slot)))
+            self.out.append(FlowClosed(key, self.server_address_of(slot)))
             self.log_record("flow-closed", slot, reason)
         self.table.statuses[slot] = FlowStatus.CLOSED
         self.table.flow_flags[slot] &= (
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -219,4 +219,4 @@
         if now - state.last_packet_time < state.settings.quiet_seconds:
             return
         self.handover_reported = True
-        state.actions.append(Quiet())
+        state.out.append(Quiet())
