--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -153,7 +153,7 @@
 
     @apply_event.register
     def _(self, event: FlowRefused, now: float) -> None:
-        self.caller_handler.flow_placement.handle_refusal(event)
+        self.caller_handler.flow_placement.refused(event)
 
     @apply_event.register
     def _(self, event: Tick, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -76,7 +76,7 @@
         for segment in pending.segments:
             state.refuse_flow(segment, Refusal.SERVER_GONE)
 
-    def handle_refusal(self, event: FlowRefused) -> None:
+    def refused(self, event: FlowRefused) -> None:
         """Tell the caller that placement has no server for its flow."""
         pending = self.state.pending.pop(event.key, None)
         if pending is None:
