--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -134,7 +134,7 @@
         late = [
             number
             for number, sent in self.unconfirmed_batches.items()
-            if sent.until <= now
+            if sent.expires_at <= now
         ]
         for number in late:
             del self.unconfirmed_batches[number]
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -70,7 +70,7 @@
         if number is None:
             service = self.state.current_service_of(segment.key)
             name = "" if service is None else routes.service_names[service]
-            number = routes.server(server, name)  # type: ignore[arg-type]
+            number = routes.server_number(server, name)  # type: ignore[arg-type]
         return number
 
     def add_learned_record(self, segment: Segment, number: int, now: float) -> None:
