--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -76,14 +76,14 @@
     def map_columns(self, rows: bytearray) -> None:
         """Lay the columns over rows: one cache line holds what a packet needs."""
         self.rows = rows
-        view = memoryview(rows)
-        wide = view.cast("I")
-        short = view.cast("H")
-        times = view.cast("d")
-        self.roles = view[0::ROW_BYTES]
-        self.statuses = view[1::ROW_BYTES]
-        self.flow_flags = view[2::ROW_BYTES]
-        self.strikes = view[3::ROW_BYTES]
+        uint8s = memoryview(rows)
+        wide = uint8s.cast("I")
+        short = uint8s.cast("H")
+        times = uint8s.cast("d")
+        self.roles = uint8s[0::ROW_BYTES]
+        self.statuses = uint8s[1::ROW_BYTES]
+        self.flow_flags = uint8s[2::ROW_BYTES]
+        self.strikes = uint8s[3::ROW_BYTES]
         self.services = short[2 :: ROW_BYTES // 2]
         self.backup_vms = short[3 :: ROW_BYTES // 2]
         self.servers = wide[2 :: ROW_BYTES // 4]
