--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -77,7 +77,7 @@
         """Lay the columns over rows: one cache line holds what a packet needs."""
         self.rows = rows
         uint8s = memoryview(rows)
-        wide = uint8s.cast("I")
+        uint32s = uint8s.cast("I")
         short = uint8s.cast("H")
         times = uint8s.cast("d")
         self.roles = uint8s[0::ROW_BYTES]
@@ -86,13 +86,13 @@
         self.strikes = uint8s[3::ROW_BYTES]
         self.services = short[2 :: ROW_BYTES // 2]
         self.backup_vms = short[3 :: ROW_BYTES // 2]
-        self.servers = wide[2 :: ROW_BYTES // 4]
-        self.revisions = wide[3 :: ROW_BYTES // 4]
-        self.caller_isns = wide[4 :: ROW_BYTES // 4]
-        self.caller_nexts = wide[5 :: ROW_BYTES // 4]
-        self.server_nexts = wide[6 :: ROW_BYTES // 4]
-        self.server_acks = wide[7 :: ROW_BYTES // 4]
-        self.backup_seqs = wide[8 :: ROW_BYTES // 4]
+        self.servers = uint32s[2 :: ROW_BYTES // 4]
+        self.revisions = uint32s[3 :: ROW_BYTES // 4]
+        self.caller_isns = uint32s[4 :: ROW_BYTES // 4]
+        self.caller_nexts = uint32s[5 :: ROW_BYTES // 4]
+        self.server_nexts = uint32s[6 :: ROW_BYTES // 4]
+        self.server_acks = uint32s[7 :: ROW_BYTES // 4]
+        self.backup_seqs = uint32s[8 :: ROW_BYTES // 4]
         self.backup_times = times[5 :: ROW_BYTES // 8]
         self.caller_times = times[6 :: ROW_BYTES // 8]
         self.reply_times = times[7 :: ROW_BYTES // 8]
