Rename short to uint16s

It views the rows as 16-bit numbers.

Rename: libs/flows/src/kumquatmux_flows/table.py short uint16s

--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -78,14 +78,14 @@
         self.rows = rows
         uint8s = memoryview(rows)
         uint32s = uint8s.cast("I")
-        short = uint8s.cast("H")
+        uint16s = uint8s.cast("H")
         times = uint8s.cast("d")
         self.roles = uint8s[0::ROW_BYTES]
         self.statuses = uint8s[1::ROW_BYTES]
         self.flow_flags = uint8s[2::ROW_BYTES]
         self.strikes = uint8s[3::ROW_BYTES]
-        self.services = short[2 :: ROW_BYTES // 2]
-        self.backup_vms = short[3 :: ROW_BYTES // 2]
+        self.services = uint16s[2 :: ROW_BYTES // 2]
+        self.backup_vms = uint16s[3 :: ROW_BYTES // 2]
         self.servers = uint32s[2 :: ROW_BYTES // 4]
         self.revisions = uint32s[3 :: ROW_BYTES // 4]
         self.caller_isns = uint32s[4 :: ROW_BYTES // 4]
