Rename times to float64s

It views the rows as 64-bit floats.

Rename: libs/flows/src/kumquatmux_flows/table.py times float64s

--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -79,7 +79,7 @@
         uint8s = memoryview(rows)
         uint32s = uint8s.cast("I")
         uint16s = uint8s.cast("H")
-        times = uint8s.cast("d")
+        float64s = uint8s.cast("d")
         self.roles = uint8s[0::ROW_BYTES]
         self.statuses = uint8s[1::ROW_BYTES]
         self.flow_flags = uint8s[2::ROW_BYTES]
@@ -93,9 +93,9 @@
         self.server_nexts = uint32s[6 :: ROW_BYTES // 4]
         self.server_acks = uint32s[7 :: ROW_BYTES // 4]
         self.backup_seqs = uint32s[8 :: ROW_BYTES // 4]
-        self.backup_times = times[5 :: ROW_BYTES // 8]
-        self.caller_times = times[6 :: ROW_BYTES // 8]
-        self.reply_times = times[7 :: ROW_BYTES // 8]
+        self.backup_times = float64s[5 :: ROW_BYTES // 8]
+        self.caller_times = float64s[6 :: ROW_BYTES // 8]
+        self.reply_times = float64s[7 :: ROW_BYTES // 8]
 
     @property
     def retained_count(self) -> int:
