--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -154,12 +154,12 @@
     def grow(self) -> None:
         """Add free slots, an eighth of the table at least."""
         size = len(self.keys)
-        more = max(MIN_GROWTH_SLOTS, size // 8)
-        self.keys.extend([None] * more)
+        added_slots = max(MIN_GROWTH_SLOTS, size // 8)
+        self.keys.extend([None] * added_slots)
         for cold in (self.epochs, self.strike_times):
-            cold.frombytes(bytes(more * cold.itemsize))
-        self.map_columns(self.rows + bytes(more * ROW_BYTES))
-        self.free_slots.extend(range(size + more - 1, size - 1, -1))
+            cold.frombytes(bytes(added_slots * cold.itemsize))
+        self.map_columns(self.rows + bytes(added_slots * ROW_BYTES))
+        self.free_slots.extend(range(size + added_slots - 1, size - 1, -1))
 
 
 def next_seq(segment: Segment) -> int:
