--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -156,8 +156,8 @@
         size = len(self.keys)
         added_slots = max(MIN_GROWTH_SLOTS, size // 8)
         self.keys.extend([None] * added_slots)
-        for cold in (self.epochs, self.strike_times):
-            cold.frombytes(bytes(added_slots * cold.itemsize))
+        for column in (self.epochs, self.strike_times):
+            column.frombytes(bytes(added_slots * column.itemsize))
         self.map_columns(self.rows + bytes(added_slots * ROW_BYTES))
         self.free_slots.extend(range(size + added_slots - 1, size - 1, -1))
 
