--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -153,13 +153,13 @@
 
     def grow(self) -> None:
         """Add free slots, an eighth of the table at least."""
-        size = len(self.keys)
-        added_slots = max(MIN_GROWTH_SLOTS, size // 8)
+        slot_count = len(self.keys)
+        added_slots = max(MIN_GROWTH_SLOTS, slot_count // 8)
         self.keys.extend([None] * added_slots)
         for column in (self.epochs, self.strike_times):
             column.frombytes(bytes(added_slots * column.itemsize))
         self.map_columns(self.rows + bytes(added_slots * ROW_BYTES))
-        self.free_slots.extend(range(size + added_slots - 1, size - 1, -1))
+        self.free_slots.extend(range(slot_count + added_slots - 1, slot_count - 1, -1))
 
 
 def next_seq(segment: Segment) -> int:
