--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -102,7 +102,7 @@
         """Records held as owner or second copy."""
         return self.role_counts[Role.OWNER] + self.role_counts[Role.BACKUP]
 
-    def add(self, key: FlowKey, role: Role, server: int, service: int) -> int:
+    def add(self, key: FlowKey, role: Role, server_number: int, service: int) -> int:
         """Return the slot of a new record for a key that has none."""
         if not self.free_slots:
             self.grow()
@@ -111,7 +111,7 @@
         self.keys[slot] = key
         self.roles[slot] = role
         self.role_counts[role] += 1
-        self.servers[slot] = server
+        self.servers[slot] = server_number
         self.services[slot] = service
         self.reset_progress(slot)
         return slot
