--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -102,7 +102,9 @@
         """Records held as owner or second copy."""
         return self.role_counts[Role.OWNER] + self.role_counts[Role.BACKUP]
 
-    def add(self, key: FlowKey, role: Role, server_number: int, service: int) -> int:
+    def add(
+        self, key: FlowKey, role: Role, server_number: int, service_number: int
+    ) -> int:
         """Return the slot of a new record for a key that has none."""
         if not self.free_slots:
             self.grow()
@@ -112,7 +114,7 @@
         self.roles[slot] = role
         self.role_counts[role] += 1
         self.servers[slot] = server_number
-        self.services[slot] = service
+        self.services[slot] = service_number
         self.reset_progress(slot)
         return slot
 
