Rename seen to next_known

It tells whether the next sequence number is known.

Rename: libs/flows/src/kumquatmux_flows/evidence.py seen next_known

--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -21,9 +21,9 @@
         table = self.state.table
         if segment.flags & (FLAG_SYN | FLAG_RST) or not segment.flags & FLAG_ACK:
             return False
-        seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
+        next_known = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         if table.statuses[slot] == FlowStatus.ESTABLISHED:
-            current = seen and table.roles[slot] == Role.OWNER
+            current = next_known and table.roles[slot] == Role.OWNER
             known = table.server_nexts[slot] != 0
             return (
                 known
@@ -32,7 +32,7 @@
             )
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
-        if seen:
+        if next_known:
             return self.ack_outside_window(slot, segment, NARROW_ACK_WINDOW_BYTES)
         return bool(table.flow_flags[slot] & FlowFlag.PLACED_HERE)
 
