--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -23,11 +23,11 @@
             return False
         next_known = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         if table.statuses[slot] == FlowStatus.ESTABLISHED:
-            current = next_known and table.roles[slot] == Role.OWNER
+            is_current = next_known and table.roles[slot] == Role.OWNER
             known = table.server_nexts[slot] != 0
             return (
                 known
-                and not current
+                and not is_current
                 and self.ack_outside_window(slot, segment, WIDE_ACK_WINDOW_BYTES)
             )
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
