--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -24,9 +24,9 @@
         next_known = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         if table.statuses[slot] == FlowStatus.ESTABLISHED:
             is_current = next_known and table.roles[slot] == Role.OWNER
-            known = table.server_nexts[slot] != 0
+            has_server_next = table.server_nexts[slot] != 0
             return (
-                known
+                has_server_next
                 and not is_current
                 and self.ack_outside_window(slot, segment, WIDE_ACK_WINDOW_BYTES)
             )
