--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -36,10 +36,10 @@
             return self.ack_outside_window(slot, segment, NARROW_ACK_WINDOW_BYTES)
         return bool(table.flow_flags[slot] & FlowFlag.PLACED_HERE)
 
-    def ack_outside_window(self, slot: int, segment: Segment, limit: int) -> bool:
+    def ack_outside_window(self, slot: int, segment: Segment, window: int) -> bool:
         """Return whether an acknowledgement does not fit what a server has sent."""
         distance = (segment.ack - self.state.table.server_nexts[slot]) & SEQUENCE_MASK
-        return min(distance, SEQUENCE_MASK - distance) > limit
+        return min(distance, SEQUENCE_MASK - distance) > window
 
     def fits_learned_record(self, slot: int, segment: Segment, now: float) -> bool:
         """Return whether a packet fits a record only learned from replies."""
