Rename opening to half_open

It is the term of the flow status.

Rename: libs/flows/src/kumquatmux_flows/evidence.py opening half_open

--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -51,7 +51,9 @@
             return age < self.state.settings.learned_fresh_seconds
         if not segment.flags & FLAG_ACK:
             return False
-        opening = table.statuses[slot] == FlowStatus.HALF_OPEN
+        half_open = table.statuses[slot] == FlowStatus.HALF_OPEN
         return not self.ack_outside_window(
-            slot, segment, NARROW_ACK_WINDOW_BYTES if opening else WIDE_ACK_WINDOW_BYTES
+            slot,
+            segment,
+            NARROW_ACK_WINDOW_BYTES if half_open else WIDE_ACK_WINDOW_BYTES,
         )
