--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -24,11 +24,11 @@
     def backup_is_current(self, slot: int, now: float) -> bool:
         """Return whether the second copy is in place and recent."""
         table = self.state.table
-        backup = self.backup_vm_number(slot)
-        if backup == NO_VM:
+        backup_number = self.backup_vm_number(slot)
+        if backup_number == NO_VM:
             return True
         if (
-            table.backup_vms[slot] != backup
+            table.backup_vms[slot] != backup_number
             or not table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
         ):
             return False
