--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -60,9 +60,9 @@
     def record_backup_sent(self, slot: int, seq: int, now: float) -> None:
         """Remember that the backup was sent the record with a packet."""
         table = self.state.table
-        backup = self.backup_vm_number(slot)
-        if table.backup_vms[slot] != backup:
-            table.backup_vms[slot] = backup
+        backup_number = self.backup_vm_number(slot)
+        if table.backup_vms[slot] != backup_number:
+            table.backup_vms[slot] = backup_number
             table.flow_flags[slot] &= ~FlowFlag.BACKUP_CONFIRMED & 0xFF
         if not table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             table.backup_seqs[slot] = seq
