--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -49,13 +49,13 @@
     def by_backup(self, slot: int, segment: Segment, now: float) -> None:
         """Pass a packet and its record to the backup, which forwards it."""
         state = self.state
-        backup = self.backup_vm_of(slot)
-        if backup is None:
+        backup_vm = self.backup_vm_of(slot)
+        if backup_vm is None:
             state.to_server(slot, segment)
             return
         self.record_backup_sent(slot, next_seq(segment), now)
         passing = Passing(Stage.STORE, 0, state.binding_of(slot))
-        state.out.append(SendToPeer(backup, passing, segment.packet))
+        state.out.append(SendToPeer(backup_vm, passing, segment.packet))
 
     def record_backup_sent(self, slot: int, seq: int, now: float) -> None:
         """Remember that the backup was sent the record with a packet."""
