Rename passing to header

It is the header of a packet between VMs.

Rename: libs/flows/src/kumquatmux_flows/copies.py passing header

--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -54,8 +54,8 @@
             state.to_server(slot, segment)
             return
         self.record_backup_sent(slot, next_seq(segment), now)
-        passing = Passing(Stage.STORE, 0, state.binding_of(slot))
-        state.out.append(SendToPeer(backup_vm, passing, segment.packet))
+        header = Passing(Stage.STORE, 0, state.binding_of(slot))
+        state.out.append(SendToPeer(backup_vm, header, segment.packet))
 
     def record_backup_sent(self, slot: int, seq: int, now: float) -> None:
         """Remember that the backup was sent the record with a packet."""
