--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -38,9 +38,9 @@
     def backup_vm_of(self, slot: int) -> VmId | None:
         """Return the VM that should hold the second copy."""
         routes = self.state.routes
-        place = routes.service_keys[self.state.table.services[slot]]
+        service_key = routes.service_keys[self.state.table.services[slot]]
         zone = routes.server_zones[self.state.table.servers[slot]]
-        return self.state.ranking.backup(place, zone)
+        return self.state.ranking.backup(service_key, zone)
 
     def backup_vm_number(self, slot: int) -> int:
         """Return the small number of the VM that should hold the second copy."""
