--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -39,8 +39,8 @@
         """Return the VM that should hold the second copy."""
         routes = self.state.routes
         service_key = routes.service_keys[self.state.table.services[slot]]
-        zone = routes.server_zones[self.state.table.servers[slot]]
-        return self.state.ranking.backup(service_key, zone)
+        server_zone = routes.server_zones[self.state.table.servers[slot]]
+        return self.state.ranking.backup(service_key, server_zone)
 
     def backup_vm_number(self, slot: int) -> int:
         """Return the small number of the VM that should hold the second copy."""
