--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -71,8 +71,8 @@
     def confirm_backup(self, slot: int, ack: int) -> None:
         """Note that a reply proves that the backup forwarded a packet."""
         table = self.state.table
-        marks = table.flow_flags[slot]
-        if marks & FlowFlag.BACKUP_CONFIRMED or table.backup_vms[slot] == NO_VM:
+        flow_flags = table.flow_flags[slot]
+        if flow_flags & FlowFlag.BACKUP_CONFIRMED or table.backup_vms[slot] == NO_VM:
             return
         if table.statuses[slot] == FlowStatus.UDP_ACTIVE:
             table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
