--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -41,17 +41,17 @@
     def request_placement(self, segment: Segment, epoch: int) -> None:
         """Hold the first packet of a flow and ask for a server."""
         state = self.state
-        service = state.current_service_of(segment.key)
-        if service is None:
+        service_number = state.current_service_of(segment.key)
+        if service_number is None:
             self.refuse_unknown_service(segment)
         elif state.table.retained_count >= state.settings.flow_limit:
             state.refuse_flow(segment, Refusal.TABLE_FULL)
         elif len(state.pending) >= state.settings.pending_flow_limit:
             state.refuse_flow(segment, Refusal.TABLE_FULL)
         else:
-            state.pending[segment.key] = PendingFlow([segment], service, epoch)
+            state.pending[segment.key] = PendingFlow([segment], service_number, epoch)
             state.out.append(
-                AskPlacement(segment.key, state.routes.service_names[service])
+                AskPlacement(segment.key, state.routes.service_names[service_number])
             )
 
     def refuse_unknown_service(self, segment: Segment) -> None:
