--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -65,13 +65,13 @@
     def retry_placement(self, event: FlowPlaced, pending: PendingFlow) -> None:
         """Ask again when the chosen server may not get the flow; nothing was sent."""
         state = self.state
-        name = state.routes.service_names[pending.service]
+        service_name = state.routes.service_names[pending.service]
         state.out.append(FlowClosed(event.key, event.server))
-        state.request_route_refresh(Refusal.SERVER_GONE, name, event.server)
+        state.request_route_refresh(Refusal.SERVER_GONE, service_name, event.server)
         if pending.attempts < state.settings.placement_attempts:
             retry = pending._replace(attempts=pending.attempts + 1)
             state.pending[event.key] = retry
-            state.out.append(AskPlacement(event.key, name))
+            state.out.append(AskPlacement(event.key, service_name))
             return
         for segment in pending.segments:
             state.refuse_flow(segment, Refusal.SERVER_GONE)
