--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -69,8 +69,8 @@
         state.out.append(FlowClosed(event.key, event.server))
         state.request_route_refresh(Refusal.SERVER_GONE, service_name, event.server)
         if pending.attempts < state.settings.placement_attempts:
-            retry = pending._replace(attempts=pending.attempts + 1)
-            state.pending[event.key] = retry
+            next_attempt = pending._replace(attempts=pending.attempts + 1)
+            state.pending[event.key] = next_attempt
             state.out.append(AskPlacement(event.key, service_name))
             return
         for segment in pending.segments:
