--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -89,9 +89,9 @@
         """Return the slot of a flow that this VM placed."""
         state = self.state
         table = state.table
-        old = table.slots.get(key)
-        if old is not None:
-            table.remove(old)
+        old_slot = table.slots.get(key)
+        if old_slot is not None:
+            table.remove(old_slot)
         slot = table.add(key, Role.OWNER, server, pending.service)
         table.epochs[slot] = pending.epoch
         table.revisions[slot] = max(state.routes.revision, 0)
