--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -85,14 +85,16 @@
             self.state.out.append(ResetCaller(segment, event.reason))
         self.state.log_decision("flow-refused", event.key, "none", event.reason)
 
-    def add_placed_record(self, key: FlowKey, server: int, pending: PendingFlow) -> int:
+    def add_placed_record(
+        self, key: FlowKey, server_number: int, pending: PendingFlow
+    ) -> int:
         """Return the slot of a flow that this VM placed."""
         state = self.state
         table = state.table
         old_slot = table.slots.get(key)
         if old_slot is not None:
             table.remove(old_slot)
-        slot = table.add(key, Role.OWNER, server, pending.service)
+        slot = table.add(key, Role.OWNER, server_number, pending.service)
         table.epochs[slot] = pending.epoch
         table.revisions[slot] = max(state.routes.revision, 0)
         table.flow_flags[slot] = FlowFlag.PLACED_HERE
