--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -113,13 +113,13 @@
         if pending is None:
             state.out.append(FlowClosed(event.key, event.server))
             return []
-        server = state.routes.server_number(
+        server_number = state.routes.server_number(
             event.server, state.routes.service_names[pending.service]
         )
-        if not state.routes.permits_new_flow(server, pending.service):
+        if not state.routes.permits_new_flow(server_number, pending.service):
             self.retry_placement(event, pending)
             return []
-        slot = self.add_placed_record(event.key, server, pending)
+        slot = self.add_placed_record(event.key, server_number, pending)
         state.log_record("flow-placed", slot, "placement")
         state.start_work(slot)
         state.table.flow_flags[slot] |= FlowFlag.WORK_PROVISIONAL
