--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -123,6 +123,8 @@
         state.log_record("flow-placed", slot, "placement")
         state.start_work(slot)
         state.table.flow_flags[slot] |= FlowFlag.WORK_PROVISIONAL
-        until = now + state.settings.provisional_slot_seconds
-        state.provisional_slots.append(ProvisionalSlot(until, event.key, pending.epoch))
+        expires_at = now + state.settings.provisional_slot_seconds
+        state.provisional_slots.append(
+            ProvisionalSlot(expires_at, event.key, pending.epoch)
+        )
         return pending.segments
