--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -44,15 +44,15 @@
         self.service_numbers: dict[tuple[ServiceName, bytes], int] = {}
         self.server_numbers: dict[Address, int] = {}
 
-    def change(self, changed: RoutesChanged) -> None:
+    def change(self, event: RoutesChanged) -> None:
         """Take the services and servers of a revision."""
-        self.revision = changed.revision
+        self.revision = event.revision
         self.current_services = {}
-        for route in changed.services:
+        for route in event.services:
             place = bytes((route.protocol,)) + route.address
             self.current_services[place] = self.service_number(route.service, place)
         self.in_force = set()
-        for server in changed.servers:
+        for server in event.servers:
             number = self.server_number(server.server, server.service)
             self.announced[number] = server.service
             self.server_zones[number] = server.zone
