--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -49,8 +49,10 @@
         self.revision = event.revision
         self.current_services = {}
         for route in event.services:
-            place = bytes((route.protocol,)) + route.address
-            self.current_services[place] = self.service_number(route.service, place)
+            service_key = bytes((route.protocol,)) + route.address
+            self.current_services[service_key] = self.service_number(
+                route.service, service_key
+            )
         self.in_force = set()
         for server in event.servers:
             number = self.server_number(server.server, server.service)
