--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -48,10 +48,10 @@
         """Take the services and servers of a revision."""
         self.revision = event.revision
         self.current_services = {}
-        for route in event.services:
-            service_key = bytes((route.protocol,)) + route.address
+        for service_route in event.services:
+            service_key = bytes((service_route.protocol,)) + service_route.address
             self.current_services[service_key] = self.service_number(
-                route.service, service_key
+                service_route.service, service_key
             )
         self.in_force = set()
         for server in event.servers:
