--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -54,10 +54,10 @@
                 service_route.service, service_key
             )
         self.in_force = set()
-        for server in event.servers:
-            number = self.server_number(server.server, server.service)
-            self.announced[number] = server.service
-            self.server_zones[number] = server.zone
+        for server_route in event.servers:
+            number = self.server_number(server_route.server, server_route.service)
+            self.announced[number] = server_route.service
+            self.server_zones[number] = server_route.zone
             self.in_force.add(number)
 
     def service_number(self, name: ServiceName, place: bytes) -> int:
