--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -55,10 +55,12 @@
             )
         self.in_force = set()
         for server_route in event.servers:
-            number = self.server_number(server_route.server, server_route.service)
-            self.announced[number] = server_route.service
-            self.server_zones[number] = server_route.zone
-            self.in_force.add(number)
+            server_number = self.server_number(
+                server_route.server, server_route.service
+            )
+            self.announced[server_number] = server_route.service
+            self.server_zones[server_number] = server_route.zone
+            self.in_force.add(server_number)
 
     def service_number(self, name: ServiceName, place: bytes) -> int:
         """Return the number of a service at an address."""
