--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -62,14 +62,14 @@
             self.server_zones[server_number] = server_route.zone
             self.in_force.add(server_number)
 
-    def service_number(self, name: ServiceName, place: bytes) -> int:
+    def service_number(self, name: ServiceName, service_key: bytes) -> int:
         """Return the number of a service at an address."""
-        number = self.service_numbers.get((name, place))
+        number = self.service_numbers.get((name, service_key))
         if number is None:
             number = len(self.service_names)
-            self.service_numbers[name, place] = number
+            self.service_numbers[name, service_key] = number
             self.service_names.append(name)
-            self.service_keys.append(place)
+            self.service_keys.append(service_key)
         return number
 
     def server_number(self, address: Address, assumed: ServiceName) -> int:
