Rename assumed to default_service

It is the service of a new server.

Rename: libs/flows/src/kumquatmux_flows/routes.py assumed default_service

--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -72,14 +72,14 @@
             self.service_keys.append(service_key)
         return number
 
-    def server_number(self, address: Address, assumed: ServiceName) -> int:
+    def server_number(self, address: Address, default_service: ServiceName) -> int:
         """Return the number of a server, with a service assumed if it is new."""
         number = self.server_numbers.get(address)
         if number is None:
             number = len(self.addresses)
             self.server_numbers[address] = number
             self.addresses.append(address)
-            self.announced.append(assumed)
+            self.announced.append(default_service)
             self.server_zones.append(ZoneName(""))
             self.answer_times.append(0.0)
         return number
