--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -84,9 +84,9 @@
             self.answer_times.append(0.0)
         return number
 
-    def permits(self, server_number: int, service: int) -> bool:
+    def permits(self, server_number: int, service_number: int) -> bool:
         """Return whether a server may get packets of an open flow of a service."""
-        return self.announced[server_number] == self.service_names[service]
+        return self.announced[server_number] == self.service_names[service_number]
 
     def permits_new_flow(self, server: int, service: int) -> bool:
         """Return whether a server may get a new flow of a service."""
