--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -88,9 +88,11 @@
         """Return whether a server may get packets of an open flow of a service."""
         return self.announced[server_number] == self.service_names[service_number]
 
-    def permits_new_flow(self, server_number: int, service: int) -> bool:
+    def permits_new_flow(self, server_number: int, service_number: int) -> bool:
         """Return whether a server may get a new flow of a service."""
-        return server_number in self.in_force and self.permits(server_number, service)
+        return server_number in self.in_force and self.permits(
+            server_number, service_number
+        )
 
     def service_address(self, service: int) -> Address:
         """Return the address callers use for a service."""
