--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -94,6 +94,6 @@
             server_number, service_number
         )
 
-    def service_address(self, service: int) -> Address:
+    def service_address(self, service_number: int) -> Address:
         """Return the address callers use for a service."""
-        return Address(self.service_keys[service][1:])
+        return Address(self.service_keys[service_number][1:])
