--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -34,11 +34,11 @@
 
     def apply_view(self, view: ViewChanged, now: float) -> None:
         """Take a new view."""
-        names = tuple(sorted(vm.vm for vm in view.live))
+        vm_names = tuple(sorted(vm.vm for vm in view.live))
         self.loss_times.extend(now for _ in view.lost_vms)
         self.incarnations = {vm.vm: vm.incarnation for vm in view.live}
         self.vm_zones = {vm.vm: vm.zone for vm in view.live}
-        self.set_live_vms(names, now)
+        self.set_live_vms(vm_names, now)
 
     def leave(self, now: float) -> None:
         """Own nothing from now on."""
