--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -45,14 +45,14 @@
         self.leaving = True
         self.set_live_vms(self.live_vms, now)
 
-    def set_live_vms(self, names: tuple[VmId, ...], now: float) -> None:
+    def set_live_vms(self, vm_names: tuple[VmId, ...], now: float) -> None:
         """Rank among other VMs."""
         if self.leaving:
-            names = tuple(name for name in names if name != self.vm)
-        if names == self.live_vms:
+            vm_names = tuple(name for name in vm_names if name != self.vm)
+        if vm_names == self.live_vms:
             return
         before = self.ranked_vms
-        self.live_vms = names
+        self.live_vms = vm_names
         self.changed_at = now
         self.ranked_vms = {}
         for place, ranked in before.items():
