Rename before to previous_ranks

It holds the previous ranks.

Rename: libs/flows/src/kumquatmux_flows/ranking.py before previous_ranks

--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -51,11 +51,11 @@
             vm_names = tuple(name for name in vm_names if name != self.vm)
         if vm_names == self.live_vms:
             return
-        before = self.ranked_vms
+        previous_ranks = self.ranked_vms
         self.live_vms = vm_names
         self.changed_at = now
         self.ranked_vms = {}
-        for place, ranked in before.items():
+        for place, ranked in previous_ranks.items():
             if self.rank(place)[:1] != ranked[:1]:
                 self.owner_change_times[place] = now
 
