--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -55,9 +55,9 @@
         self.live_vms = vm_names
         self.changed_at = now
         self.ranked_vms = {}
-        for place, ranked in previous_ranks.items():
-            if self.rank(place)[:1] != ranked[:1]:
-                self.owner_change_times[place] = now
+        for service_key, ranked in previous_ranks.items():
+            if self.rank(service_key)[:1] != ranked[:1]:
+                self.owner_change_times[service_key] = now
 
     def rank(self, place: bytes) -> list[VmId]:
         """Return the VMs for a service address, its owner first."""
