--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -59,12 +59,14 @@
             if self.rank(service_key)[:1] != ranked[:1]:
                 self.owner_change_times[service_key] = now
 
-    def rank(self, place: bytes) -> list[VmId]:
+    def rank(self, service_key: bytes) -> list[VmId]:
         """Return the VMs for a service address, its owner first."""
-        ranked = self.ranked_vms.get(place)
+        ranked = self.ranked_vms.get(service_key)
         if ranked is None:
-            ranked = [VmId(name) for name in rendezvous.rank(place, self.live_vms)]
-            self.ranked_vms[place] = ranked
+            ranked = [
+                VmId(name) for name in rendezvous.rank(service_key, self.live_vms)
+            ]
+            self.ranked_vms[service_key] = ranked
         return ranked
 
     def owner_of(self, key: FlowKey) -> VmId | None:
