--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -74,9 +74,9 @@
         ranked = self.rank(service_key_of(key))
         return ranked[0] if ranked else None
 
-    def owns(self, place: bytes) -> bool:
+    def owns(self, service_key: bytes) -> bool:
         """Return whether this VM owns the flows of a service address."""
-        ranked = self.rank(place)
+        ranked = self.rank(service_key)
         return bool(ranked) and ranked[0] == self.vm
 
     def backup(self, place: bytes, zone: ZoneName = NO_ZONE) -> VmId | None:
