--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -79,14 +79,14 @@
         ranked = self.rank(service_key)
         return bool(ranked) and ranked[0] == self.vm
 
-    def backup(self, place: bytes, zone: ZoneName = NO_ZONE) -> VmId | None:
+    def backup(self, service_key: bytes, zone: ZoneName = NO_ZONE) -> VmId | None:
         """Return the VM that keeps the second copies of flows to a zone's servers.
 
         It is the next of the ranking, who would be the next owner. Where this VM is
         not in the server's availability zone, it is the first VM of that zone: then
         a zone that is cut off has the records of its own servers' flows.
         """
-        others = [name for name in self.rank(place) if name != self.vm]
+        others = [name for name in self.rank(service_key) if name != self.vm]
         if zone and self.vm_zones.get(self.vm) != zone:
             for name in others:
                 if self.vm_zones.get(name) == zone:
