--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -93,9 +93,9 @@
                     return name
         return others[0] if others else None
 
-    def lookup_order(self, place: bytes, origin: VmId) -> list[VmId]:
+    def lookup_order(self, service_key: bytes, origin: VmId) -> list[VmId]:
         """Return the VMs a search visits: the likely backups first."""
-        ranked = [name for name in self.rank(place) if name != origin]
+        ranked = [name for name in self.rank(service_key) if name != origin]
         first_of_zone: dict[ZoneName, VmId] = {}
         for name in ranked:
             first_of_zone.setdefault(self.vm_zones.get(name, ZoneName("")), name)
