Rename started to incarnation_key

It identifies an incarnation.

Rename: libs/flows/src/kumquatmux_flows/ranking.py started incarnation_key

--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -105,8 +105,8 @@
         """Return the small number of one incarnation of a VM, ``NO_VM`` for none."""
         if name is None:
             return NO_VM
-        started = (name, self.incarnations.get(name, 0))
-        return self.vm_numbers.setdefault(started, len(self.vm_numbers))
+        incarnation_key = (name, self.incarnations.get(name, 0))
+        return self.vm_numbers.setdefault(incarnation_key, len(self.vm_numbers))
 
     def count_recent_losses(self, window: float, now: float) -> int:
         """Return how many VMs were lost within a time, in seconds."""
