--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -108,7 +108,9 @@
         incarnation_key = (name, self.incarnations.get(name, 0))
         return self.vm_numbers.setdefault(incarnation_key, len(self.vm_numbers))
 
-    def count_recent_losses(self, window: float, now: float) -> int:
+    def count_recent_losses(self, window_seconds: float, now: float) -> int:
         """Return how many VMs were lost within a time, in seconds."""
-        self.loss_times = [time for time in self.loss_times if now - time < window]
+        self.loss_times = [
+            time for time in self.loss_times if now - time < window_seconds
+        ]
         return len(self.loss_times)
