--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -183,10 +183,10 @@
         if key is None or self.table.roles[slot] == Role.OWNER:
             return
         self.table.set_role(slot, Role.OWNER)
-        kept = FlowFlag.CALLER_FIN | FlowFlag.SERVER_FIN
+        kept_flags = FlowFlag.CALLER_FIN | FlowFlag.SERVER_FIN
         if self.table.statuses[slot] == FlowStatus.HALF_OPEN:
-            kept |= FlowFlag.SERVER_NEXT_KNOWN
-        self.table.flow_flags[slot] &= kept
+            kept_flags |= FlowFlag.SERVER_NEXT_KNOWN
+        self.table.flow_flags[slot] &= kept_flags
         self.table.strikes[slot] = 0
         if self.table.statuses[slot] != FlowStatus.CLOSED:
             self.out.append(
