--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -235,12 +235,12 @@
     def idle_seconds(self, slot: int, now: float) -> float:
         """Return the seconds since a sign of life of a flow."""
         table = self.table
-        latest = max(table.caller_times[slot], table.reply_times[slot])
+        last_active_time = max(table.caller_times[slot], table.reply_times[slot])
         if self.is_probed(slot):
-            latest = table.caller_times[slot]
+            last_active_time = table.caller_times[slot]
         if table.roles[slot] == Role.BACKUP:
-            latest = max(latest, table.backup_times[slot])
-        return now - latest
+            last_active_time = max(last_active_time, table.backup_times[slot])
+        return now - last_active_time
 
     def is_probed(self, slot: int) -> bool:
         """Return whether probes keep a flow's server time recent.
