--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -271,8 +271,12 @@
     ) -> None:
         """Log one decision."""
         if not service:
-            number = self.current_service_of(key)
-            service = "unknown" if number is None else self.routes.service_names[number]
+            service_number = self.current_service_of(key)
+            service = (
+                "unknown"
+                if service_number is None
+                else self.routes.service_names[service_number]
+            )
         decisions.log(
             event,
             flow=FlowLabel(key),
