Rename here to record_established

It tells whether the record is established.

Rename: libs/flows/src/kumquatmux_flows/bindings.py here record_established

--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -79,8 +79,8 @@
             return binding.epoch > table.epochs[slot]
         if segment.opens and segment.seq != table.caller_isns[slot]:
             return True
-        here = table.statuses[slot] != FlowStatus.HALF_OPEN
-        if binding.established != here:
+        record_established = table.statuses[slot] != FlowStatus.HALF_OPEN
+        if binding.established != record_established:
             return binding.established
         if self.handshake_answered(slot):
             return False
