Rename seen to reply_seen

It tells whether a reply was seen.

Rename: libs/flows/src/kumquatmux_flows/bindings.py seen reply_seen

--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -91,8 +91,8 @@
         table = self.state.table
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
-        seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
-        return bool(seen) and table.roles[slot] == Role.OWNER
+        reply_seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
+        return bool(reply_seen) and table.roles[slot] == Role.OWNER
 
     def discard_record(self, slot: int, segment: Segment, now: float) -> None:
         """Drop the record that lost, and reset its server's half of the handshake."""
