--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -114,11 +114,11 @@
         """Tell the holder of the second copy that the record has lost."""
         state = self.state
         key = state.table.keys[slot]
-        holder = self.backup_copies.backup_vm_of(slot)
-        if key is None or holder is None:
+        backup_vm = self.backup_copies.backup_vm_of(slot)
+        if key is None or backup_vm is None:
             return
         lost = LostRecord(key, state.server_address_of(slot))
-        state.out.append(SendMessage(holder, lost))
+        state.out.append(SendMessage(backup_vm, lost))
 
     def add_record(
         self, binding: Binding, segment: Segment, role: Role, now: float
