--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -117,8 +117,8 @@
         backup_vm = self.backup_copies.backup_vm_of(slot)
         if key is None or backup_vm is None:
             return
-        lost = LostRecord(key, state.server_address_of(slot))
-        state.out.append(SendMessage(backup_vm, lost))
+        lost_record = LostRecord(key, state.server_address_of(slot))
+        state.out.append(SendMessage(backup_vm, lost_record))
 
     def add_record(
         self, binding: Binding, segment: Segment, role: Role, now: float
