--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -125,13 +125,13 @@
     ) -> int | None:
         """Store a record that came with a packet."""
         state = self.state
-        service = state.named_service_of(segment.key, binding.service)
-        if service is None:
+        service_number = state.named_service_of(segment.key, binding.service)
+        if service_number is None:
             return None
         table = state.table
-        name = state.routes.service_names[service]
+        name = state.routes.service_names[service_number]
         server = state.routes.server_number(binding.server, name)
-        slot = table.add(segment.key, Role.BACKUP, server, service)
+        slot = table.add(segment.key, Role.BACKUP, server, service_number)
         table.epochs[slot] = binding.epoch
         table.revisions[slot] = binding.revision
         table.caller_times[slot] = now
