--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -130,8 +130,8 @@
             return None
         table = state.table
         name = state.routes.service_names[service_number]
-        server = state.routes.server_number(binding.server, name)
-        slot = table.add(segment.key, Role.BACKUP, server, service_number)
+        server_number = state.routes.server_number(binding.server, name)
+        slot = table.add(segment.key, Role.BACKUP, server_number, service_number)
         table.epochs[slot] = binding.epoch
         table.revisions[slot] = binding.revision
         table.caller_times[slot] = now
