--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -129,8 +129,8 @@
         if service_number is None:
             return None
         table = state.table
-        name = state.routes.service_names[service_number]
-        server_number = state.routes.server_number(binding.server, name)
+        service_name = state.routes.service_names[service_number]
+        server_number = state.routes.server_number(binding.server, service_name)
         slot = table.add(segment.key, Role.BACKUP, server_number, service_number)
         table.epochs[slot] = binding.epoch
         table.revisions[slot] = binding.revision
