Rename seen to next_known

It tells whether the next sequence number is known.

Rename: libs/flows/src/kumquatmux_flows/tracking.py seen next_known

--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -33,8 +33,8 @@
     def track_ack(self, slot: int, segment: Segment) -> None:
         """Learn from an acknowledgement what the server has sent."""
         table = self.state.table
-        seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
-        if not seen or seq_after(segment.ack, table.server_nexts[slot]):
+        next_known = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
+        if not next_known or seq_after(segment.ack, table.server_nexts[slot]):
             table.server_nexts[slot] = segment.ack
             table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
 
