--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -42,9 +42,13 @@
         """Count new bytes as work and old ones as a sign of silence."""
         table = self.state.table
         end = next_seq(segment)
-        seen = table.flow_flags[slot] & FlowFlag.CALLER_NEXT_KNOWN
+        next_known = table.flow_flags[slot] & FlowFlag.CALLER_NEXT_KNOWN
         table.flow_flags[slot] &= ~FlowFlag.WORK_PROVISIONAL & 0xFF
-        if segment.is_tcp and seen and not seq_after(end, table.caller_nexts[slot]):
+        if (
+            segment.is_tcp
+            and next_known
+            and not seq_after(end, table.caller_nexts[slot])
+        ):
             self.silence_detector.handle_retransmission(slot, segment, now)
             return
         table.caller_nexts[slot] = end
