--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -41,17 +41,17 @@
     def track_payload(self, slot: int, segment: Segment, now: float) -> None:
         """Count new bytes as work and old ones as a sign of silence."""
         table = self.state.table
-        end = next_seq(segment)
+        end_seq = next_seq(segment)
         next_known = table.flow_flags[slot] & FlowFlag.CALLER_NEXT_KNOWN
         table.flow_flags[slot] &= ~FlowFlag.WORK_PROVISIONAL & 0xFF
         if (
             segment.is_tcp
             and next_known
-            and not seq_after(end, table.caller_nexts[slot])
+            and not seq_after(end_seq, table.caller_nexts[slot])
         ):
             self.silence_detector.handle_retransmission(slot, segment, now)
             return
-        table.caller_nexts[slot] = end
+        table.caller_nexts[slot] = end_seq
         table.flow_flags[slot] |= FlowFlag.CALLER_NEXT_KNOWN
         self.state.start_work(slot)
 
