--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -68,8 +68,8 @@
     def handle_fin(self, slot: int, now: float) -> None:
         """Follow a FIN: the second one ends the flow."""
         table = self.state.table
-        marks = table.flow_flags[slot]
-        if marks & FlowFlag.CALLER_FIN and marks & FlowFlag.SERVER_FIN:
+        flow_flags = table.flow_flags[slot]
+        if flow_flags & FlowFlag.CALLER_FIN and flow_flags & FlowFlag.SERVER_FIN:
             self.state.close_flow(slot, "finished", now)
         elif table.statuses[slot] != FlowStatus.CLOSED:
             table.statuses[slot] = FlowStatus.CLOSING
