Rename passing to header

It is the header of a packet between VMs.

Rename: libs/flows/src/kumquatmux_flows/peers.py passing header

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -51,8 +51,8 @@
             return False
         if packet.header.hops >= state.settings.owner_hop_limit:
             return False
-        passing = packet.header._replace(hops=packet.header.hops + 1)
-        state.out.append(SendToPeer(owner, passing, packet.segment.packet))
+        header = packet.header._replace(hops=packet.header.hops + 1)
+        state.out.append(SendToPeer(owner, header, packet.segment.packet))
         return True
 
     def handle_to_owner(self, packet: PeerPacket, now: float) -> None:
