Rename named to owner_is_self_or_sender

It says what is tested.

Rename: libs/flows/src/kumquatmux_flows/peers.py named owner_is_self_or_sender

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -61,8 +61,8 @@
             self.request_view_refresh(packet.segment)
             return
         owner = self.state.ranking.owner_of(packet.segment.key)
-        named = owner in (self.state.vm, packet.sender)
-        if named or self.has_flow_record(packet.segment):
+        owner_is_self_or_sender = owner in (self.state.vm, packet.sender)
+        if owner_is_self_or_sender or self.has_flow_record(packet.segment):
             self.caller_handler.handle_packet(packet.segment, now)
             return
         self.state.drop_packet(Refusal.HOP_LIMIT)
