--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -140,8 +140,8 @@
     def send_correction(self, packet: PeerPacket, slot: int) -> None:
         """Give an owner the better record this VM has, with its packet."""
         header = Passing(Stage.ADOPT, CORRECTION_HOPS, self.state.binding_of(slot))
-        peer = SendToPeer(packet.sender, header, packet.segment.packet)
-        self.state.out.append(peer)
+        action = SendToPeer(packet.sender, header, packet.segment.packet)
+        self.state.out.append(action)
 
     def handle_lookup(self, packet: PeerPacket, now: float) -> None:
         """Answer a search, or send it on to the next VM."""
