Rename doubted to disputed

It tells whether the owner's record is disputed.

Rename: libs/flows/src/kumquatmux_flows/peers.py doubted disputed

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -151,8 +151,8 @@
         if segment.key in state.pending:
             state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
             return
-        doubted = packet.header.binding is not None
-        binding = self.find_binding(segment, now, doubted=doubted)
+        disputed = packet.header.binding is not None
+        binding = self.find_binding(segment, now, doubted=disputed)
         if binding is not None:
             passing = Passing(Stage.ADOPT, 0, binding)
             state.out.append(SendToPeer(origin, passing, segment.packet))
