Rename passing to header

It is the header of a packet between VMs.

Rename: libs/flows/src/kumquatmux_flows/peers.py passing header

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -154,8 +154,8 @@
         disputed = packet.header.binding is not None
         binding = self.find_binding(segment, now, doubted=disputed)
         if binding is not None:
-            passing = Passing(Stage.ADOPT, 0, binding)
-            state.out.append(SendToPeer(origin, passing, segment.packet))
+            header = Passing(Stage.ADOPT, 0, binding)
+            state.out.append(SendToPeer(origin, header, segment.packet))
         elif not self.drop_if_quarantined(segment, now):
             self.continue_lookup(packet, now)
 
