Rename doubted to disputed

It tells whether the owner's record is disputed.

Rename: libs/flows/src/kumquatmux_flows/peers.py doubted disputed

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -152,7 +152,7 @@
             state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
             return
         disputed = packet.header.binding is not None
-        binding = self.find_binding(segment, now, doubted=disputed)
+        binding = self.find_binding(segment, now, disputed=disputed)
         if binding is not None:
             header = Passing(Stage.ADOPT, 0, binding)
             state.out.append(SendToPeer(origin, header, segment.packet))
@@ -160,7 +160,7 @@
             self.continue_lookup(packet, now)
 
     def find_binding(
-        self, segment: Segment, now: float, *, doubted: bool
+        self, segment: Segment, now: float, *, disputed: bool
     ) -> Binding | None:
         """Return the record here that fits a searched packet.
 
@@ -185,7 +185,7 @@
             return None
         half_open = state.table.statuses[slot] == FlowStatus.HALF_OPEN
         if (
-            doubted
+            disputed
             and half_open
             and not state.table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         ):
