--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -208,14 +208,14 @@
         state = self.state
         hops = packet.header.hops
         origin = packet.header.origin
-        target = self.caller_handler.next_lookup_vm(packet.segment.key, hops, origin)
-        stage = Stage.LOOKUP if target is not None else Stage.MISS
+        next_vm = self.caller_handler.next_lookup_vm(packet.segment.key, hops, origin)
+        stage = Stage.LOOKUP if next_vm is not None else Stage.MISS
         window = state.settings.datagram_seconds
         lost = state.ranking.count_recent_losses(window, now) > 0
         suspect = packet.header.record_maybe_lost or lost
         doubted = packet.header.binding
         passing = Passing(stage, hops + 1, doubted, origin, suspect)
-        vm = target if target is not None else origin
+        vm = next_vm if next_vm is not None else origin
         state.out.append(SendToPeer(vm, passing, packet.segment.packet))
 
     def handle_adopt(self, packet: PeerPacket, now: float) -> None:
