--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -211,8 +211,8 @@
         next_vm = self.caller_handler.next_lookup_vm(packet.segment.key, hops, origin)
         stage = Stage.LOOKUP if next_vm is not None else Stage.MISS
         window = state.settings.datagram_seconds
-        lost = state.ranking.count_recent_losses(window, now) > 0
-        suspect = packet.header.record_maybe_lost or lost
+        lost_recently = state.ranking.count_recent_losses(window, now) > 0
+        suspect = packet.header.record_maybe_lost or lost_recently
         doubted = packet.header.binding
         passing = Passing(stage, hops + 1, doubted, origin, suspect)
         vm = next_vm if next_vm is not None else origin
