Rename suspect to record_maybe_lost

It tells whether the record may be lost.

Rename: libs/flows/src/kumquatmux_flows/peers.py suspect record_maybe_lost

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -212,9 +212,9 @@
         stage = Stage.LOOKUP if next_vm is not None else Stage.MISS
         window = state.settings.datagram_seconds
         lost_recently = state.ranking.count_recent_losses(window, now) > 0
-        suspect = packet.header.record_maybe_lost or lost_recently
+        record_maybe_lost = packet.header.record_maybe_lost or lost_recently
         doubted = packet.header.binding
-        passing = Passing(stage, hops + 1, doubted, origin, suspect)
+        passing = Passing(stage, hops + 1, doubted, origin, record_maybe_lost)
         vm = next_vm if next_vm is not None else origin
         state.out.append(SendToPeer(vm, passing, packet.segment.packet))
 
