Rename doubted to disputed_binding

It is the disputed binding.

Rename: libs/flows/src/kumquatmux_flows/peers.py doubted disputed_binding

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -213,8 +213,8 @@
         window = state.settings.datagram_seconds
         lost_recently = state.ranking.count_recent_losses(window, now) > 0
         record_maybe_lost = packet.header.record_maybe_lost or lost_recently
-        doubted = packet.header.binding
-        passing = Passing(stage, hops + 1, doubted, origin, record_maybe_lost)
+        disputed_binding = packet.header.binding
+        passing = Passing(stage, hops + 1, disputed_binding, origin, record_maybe_lost)
         vm = next_vm if next_vm is not None else origin
         state.out.append(SendToPeer(vm, passing, packet.segment.packet))
 
