Rename passing to header

It is the header of a packet between VMs.

Rename: libs/flows/src/kumquatmux_flows/peers.py passing header

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -214,9 +214,9 @@
         lost_recently = state.ranking.count_recent_losses(window, now) > 0
         record_maybe_lost = packet.header.record_maybe_lost or lost_recently
         disputed_binding = packet.header.binding
-        passing = Passing(stage, hops + 1, disputed_binding, origin, record_maybe_lost)
+        header = Passing(stage, hops + 1, disputed_binding, origin, record_maybe_lost)
         vm = next_vm if next_vm is not None else origin
-        state.out.append(SendToPeer(vm, passing, packet.segment.packet))
+        state.out.append(SendToPeer(vm, header, packet.segment.packet))
 
     def handle_adopt(self, packet: PeerPacket, now: float) -> None:
         """Take a record that a search or a correction found."""
