--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -215,8 +215,8 @@
         record_maybe_lost = packet.header.record_maybe_lost or lost_recently
         disputed_binding = packet.header.binding
         header = Passing(stage, hops + 1, disputed_binding, origin, record_maybe_lost)
-        vm = next_vm if next_vm is not None else origin
-        state.out.append(SendToPeer(vm, header, packet.segment.packet))
+        receiver = next_vm if next_vm is not None else origin
+        state.out.append(SendToPeer(receiver, header, packet.segment.packet))
 
     def handle_adopt(self, packet: PeerPacket, now: float) -> None:
         """Take a record that a search or a correction found."""
