Rename kept to own_record_wins

It tells whether the own record wins.

Rename: libs/flows/src/kumquatmux_flows/peers.py kept own_record_wins

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -230,15 +230,15 @@
         if slot is None:
             self.state.drop_packet(Refusal.SERVICE_UNKNOWN)
             return
-        kept = (
+        own_record_wins = (
             binding is not None and self.state.server_address_of(slot) != binding.server
         )
-        if kept and packet.header.hops == CORRECTION_HOPS:
+        if own_record_wins and packet.header.hops == CORRECTION_HOPS:
             self.state.drop_packet(Refusal.CONFLICT)
             return
         if self.owns_flow(segment):
             self.state.take_ownership(slot, "found-at-peer")
-        if kept:
+        if own_record_wins:
             self.caller_handler.continue_with_own_record(slot, segment, now)
         else:
             self.caller_handler.continue_with_confirmed_record(slot, segment, now)
