Rename suspect to record_maybe_lost

It tells whether the record may be lost.

Rename: libs/flows/src/kumquatmux_flows/peers.py suspect record_maybe_lost

--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -245,8 +245,10 @@
 
     def handle_miss(self, packet: PeerPacket, now: float) -> None:
         """Decide about a packet whose record no live VM has."""
-        suspect = packet.header.record_maybe_lost
-        self.caller_handler.handle_lookup_miss(packet.segment, now, suspect=suspect)
+        record_maybe_lost = packet.header.record_maybe_lost
+        self.caller_handler.handle_lookup_miss(
+            packet.segment, now, suspect=record_maybe_lost
+        )
 
     def handle_reply_to_owner(self, packet: PeerPacket, now: float) -> None:
         """Handle a reply another VM passed on."""
