Rename suspect to record_maybe_lost

It tells whether the record may be lost.

Rename: libs/flows/src/kumquatmux_flows/callers.py suspect record_maybe_lost

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -168,7 +168,7 @@
         return None
 
     def handle_lookup_miss(
-        self, segment: Segment, now: float, *, suspect: bool = False
+        self, segment: Segment, now: float, *, record_maybe_lost: bool = False
     ) -> None:
         """Decide about a packet whose record nobody has.
 
@@ -187,7 +187,7 @@
             state.take_ownership(slot, "learned-from-replies")
             self.handle_with_record(slot, segment, now)
         elif self.may_start_flow(segment):
-            self.place_after_lookup(segment, now, suspect=suspect)
+            self.place_after_lookup(segment, now, suspect=record_maybe_lost)
         elif segment.flags & FLAG_RST:
             state.drop_packet(Refusal.FLOW_UNKNOWN)
         elif self.is_view_unsettled(now) or not self.missed_twice(segment, now):
