Rename suspect to record_maybe_lost

It tells whether the record may be lost.

Rename: libs/flows/src/kumquatmux_flows/callers.py suspect record_maybe_lost

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -187,7 +187,7 @@
             state.take_ownership(slot, "learned-from-replies")
             self.handle_with_record(slot, segment, now)
         elif self.may_start_flow(segment):
-            self.place_after_lookup(segment, now, suspect=record_maybe_lost)
+            self.place_after_lookup(segment, now, record_maybe_lost=record_maybe_lost)
         elif segment.flags & FLAG_RST:
             state.drop_packet(Refusal.FLOW_UNKNOWN)
         elif self.is_view_unsettled(now) or not self.missed_twice(segment, now):
@@ -268,7 +268,7 @@
             self.forward_packet(slot, segment, now)
 
     def place_after_lookup(
-        self, segment: Segment, now: float, *, suspect: bool
+        self, segment: Segment, now: float, *, record_maybe_lost: bool
     ) -> None:
         """Place a flow that nobody knows, unless its record may have been lost."""
         state = self.state
@@ -277,7 +277,7 @@
             return
         window = state.settings.datagram_seconds
         lost = state.ranking.count_recent_losses(window, now)
-        if not segment.is_tcp and (lost or suspect):
+        if not segment.is_tcp and (lost or record_maybe_lost):
             state.refuse_flow(segment, Refusal.RECORD_MAYBE_LOST)
             return
         self.flow_placement.request_placement(segment, epoch=1)
