Rename lost to lost_recently

It tells whether a VM was lost recently.

Rename: libs/flows/src/kumquatmux_flows/callers.py lost lost_recently

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -276,8 +276,8 @@
             self.flow_placement.handle_pending_packet(segment)
             return
         window = state.settings.datagram_seconds
-        lost = state.ranking.count_recent_losses(window, now)
-        if not segment.is_tcp and (lost or record_maybe_lost):
+        lost_recently = state.ranking.count_recent_losses(window, now)
+        if not segment.is_tcp and (lost_recently or record_maybe_lost):
             state.refuse_flow(segment, Refusal.RECORD_MAYBE_LOST)
             return
         self.flow_placement.request_placement(segment, epoch=1)
