--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -88,10 +88,10 @@
     def reset_reassigned_flow(self, slot: int, segment: Segment, now: float) -> None:
         """Reset a flow whose server's address now serves another service."""
         state = self.state
-        name = state.service_name_of(slot)
+        service_name = state.service_name_of(slot)
         server = state.server_address_of(slot)
         state.remove_flow(slot, Refusal.SERVER_GONE, now)
-        state.request_route_refresh(Refusal.SERVER_GONE, name, server)
+        state.request_route_refresh(Refusal.SERVER_GONE, service_name, server)
         if not segment.flags & FLAG_RST:
             state.refuse_flow(segment, Refusal.SERVER_GONE)
 
