Rename starts to may_start

It tells whether the packet may start a flow.

Rename: libs/flows/src/kumquatmux_flows/callers.py starts may_start

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -98,9 +98,9 @@
     def handle_closed_flow(self, slot: int, segment: Segment, now: float) -> None:
         """Handle a packet of a key whose last flow is over."""
         state = self.state
-        starts = self.may_start_flow(segment)
+        may_start = self.may_start_flow(segment)
         if state.is_quarantined(slot, now):
-            if starts:
+            if may_start:
                 state.drop_packet(Refusal.QUARANTINED)
             elif state.table.strikes[slot] == WAS_RESET:
                 self.resend_reset(segment)
@@ -109,7 +109,7 @@
             return
         epoch = state.table.epochs[slot] + 1
         state.table.remove(slot)
-        if starts:
+        if may_start:
             self.flow_placement.request_placement(segment, epoch)
         else:
             self.start_lookup(segment, now)
