--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -139,14 +139,14 @@
 
     def start_lookup(self, segment: Segment, now: float) -> None:
         """Send a packet in search of its record, or decide without."""
-        target = self.next_lookup_vm(segment.key, 0, self.state.vm)
-        if target is None:
+        next_vm = self.next_lookup_vm(segment.key, 0, self.state.vm)
+        if next_vm is None:
             self.handle_lookup_miss(segment, now)
             return
         passing = Passing(
             Stage.LOOKUP, 1, self.disputed_binding(segment), self.state.vm
         )
-        self.state.out.append(SendToPeer(target, passing, segment.packet))
+        self.state.out.append(SendToPeer(next_vm, passing, segment.packet))
 
     def disputed_binding(self, segment: Segment) -> Binding | None:
         """Return the record here that a search is to confirm or to replace."""
