Rename passing to header

It is the header of a packet between VMs.

Rename: libs/flows/src/kumquatmux_flows/callers.py passing header

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -143,10 +143,8 @@
         if next_vm is None:
             self.handle_lookup_miss(segment, now)
             return
-        passing = Passing(
-            Stage.LOOKUP, 1, self.disputed_binding(segment), self.state.vm
-        )
-        self.state.out.append(SendToPeer(next_vm, passing, segment.packet))
+        header = Passing(Stage.LOOKUP, 1, self.disputed_binding(segment), self.state.vm)
+        self.state.out.append(SendToPeer(next_vm, header, segment.packet))
 
     def disputed_binding(self, segment: Segment) -> Binding | None:
         """Return the record here that a search is to confirm or to replace."""
