--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -210,16 +210,16 @@
         A record that only a disagreement of views hides turns up in between.
         """
         settings = self.state.settings
-        missed = self.state.first_miss_times
-        first = missed.get(segment.key)
+        first_miss_times = self.state.first_miss_times
+        first = first_miss_times.get(segment.key)
         if first is None or now - first > settings.half_open_seconds:
-            if len(missed) >= settings.pending_flow_limit:
-                missed.clear()
-            missed[segment.key] = now
+            if len(first_miss_times) >= settings.pending_flow_limit:
+                first_miss_times.clear()
+            first_miss_times[segment.key] = now
             return False
         if now - first < settings.view_settle_seconds:
             return False
-        del missed[segment.key]
+        del first_miss_times[segment.key]
         return True
 
     def continue_with_own_record(self, slot: int, segment: Segment, now: float) -> None:
