--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -211,13 +211,16 @@
         """
         settings = self.state.settings
         first_miss_times = self.state.first_miss_times
-        first = first_miss_times.get(segment.key)
-        if first is None or now - first > settings.half_open_seconds:
+        first_miss_time = first_miss_times.get(segment.key)
+        if (
+            first_miss_time is None
+            or now - first_miss_time > settings.half_open_seconds
+        ):
             if len(first_miss_times) >= settings.pending_flow_limit:
                 first_miss_times.clear()
             first_miss_times[segment.key] = now
             return False
-        if now - first < settings.view_settle_seconds:
+        if now - first_miss_time < settings.view_settle_seconds:
             return False
         del first_miss_times[segment.key]
         return True
