Rename seen to reply_seen

It tells whether a reply was seen.

Rename: libs/flows/src/kumquatmux_flows/callers.py seen reply_seen

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -247,9 +247,9 @@
         Without any answer of the server seen here, that is given up after two searches,
         but not while a cut may hide the other record.
         """
-        seen = self.state.table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
+        reply_seen = self.state.table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         return (
-            bool(seen)
+            bool(reply_seen)
             or self.is_view_unsettled(now)
             or not self.missed_twice(segment, now)
         )
