Rename passing to header

It is the header of a packet between VMs.

Rename: libs/flows/src/kumquatmux_flows/replies.py passing header

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -38,8 +38,8 @@
             return
         if not self.learn_flow(segment, server, now):
             return
-        passing = Passing(Stage.REPLY_TO_OWNER, 1, Binding(server, 0, 0))
-        self.state.out.append(SendToPeer(owner, passing, segment.packet))
+        header = Passing(Stage.REPLY_TO_OWNER, 1, Binding(server, 0, 0))
+        self.state.out.append(SendToPeer(owner, header, segment.packet))
 
     def learn_flow(self, segment: Segment, server: Address, now: float) -> bool:
         """Keep what a reply shows of its flow.
