--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -50,16 +50,16 @@
         """
         state = self.state
         table = state.table
-        number = self.server_number_of(segment, server)
+        server_number = self.server_number_of(segment, server)
         slot = table.slots.get(segment.key)
         if slot is None:
-            self.add_learned_record(segment, number, now)
+            self.add_learned_record(segment, server_number, now)
             return True
-        if table.roles[slot] == Role.LEARNED and table.servers[slot] != number:
+        if table.roles[slot] == Role.LEARNED and table.servers[slot] != server_number:
             table.remove(slot)
-            self.add_learned_record(segment, number, now)
+            self.add_learned_record(segment, server_number, now)
             return True
-        if table.servers[slot] == number:
+        if table.servers[slot] == server_number:
             self.update_from_reply(slot, segment, now)
         return True
 
