--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -66,12 +66,12 @@
     def server_number_of(self, segment: Segment, server: Address) -> int:
         """Return the number of the server a reply is from."""
         routes = self.state.routes
-        number = routes.server_numbers.get(server)
-        if number is None:
+        server_number = routes.server_numbers.get(server)
+        if server_number is None:
             service = self.state.current_service_of(segment.key)
             name = "" if service is None else routes.service_names[service]
-            number = routes.server_number(server, name)  # type: ignore[arg-type]
-        return number
+            server_number = routes.server_number(server, name)  # type: ignore[arg-type]
+        return server_number
 
     def add_learned_record(self, segment: Segment, number: int, now: float) -> None:
         """Add a learned record, the oldest goes when there are too many."""
