--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -68,8 +68,10 @@
         routes = self.state.routes
         server_number = routes.server_numbers.get(server)
         if server_number is None:
-            service = self.state.current_service_of(segment.key)
-            name = "" if service is None else routes.service_names[service]
+            service_number = self.state.current_service_of(segment.key)
+            name = (
+                "" if service_number is None else routes.service_names[service_number]
+            )
             server_number = routes.server_number(server, name)  # type: ignore[arg-type]
         return server_number
 
