--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -69,10 +69,10 @@
         server_number = routes.server_numbers.get(server)
         if server_number is None:
             service_number = self.state.current_service_of(segment.key)
-            name = (
+            service_name = (
                 "" if service_number is None else routes.service_names[service_number]
             )
-            server_number = routes.server_number(server, name)  # type: ignore[arg-type]
+            server_number = routes.server_number(server, service_name)  # type: ignore[arg-type]
         return server_number
 
     def add_learned_record(self, segment: Segment, number: int, now: float) -> None:
