--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -75,18 +75,20 @@
             server_number = routes.server_number(server, service_name)  # type: ignore[arg-type]
         return server_number
 
-    def add_learned_record(self, segment: Segment, number: int, now: float) -> None:
+    def add_learned_record(
+        self, segment: Segment, server_number: int, now: float
+    ) -> None:
         """Add a learned record, the oldest goes when there are too many."""
         state = self.state
         service = state.current_service_of(segment.key)
         if service is None or segment.flags & CLOSE_FLAGS:
             return
-        if not state.routes.permits(number, service):
+        if not state.routes.permits(server_number, service):
             return
         if state.settings.learned_limit <= 0:
             return
         self.evict_learned_records()
-        slot = state.table.add(segment.key, Role.LEARNED, number, service)
+        slot = state.table.add(segment.key, Role.LEARNED, server_number, service)
         state.learned_keys.append(segment.key)
         if not segment.is_tcp:
             state.table.statuses[slot] = FlowStatus.UDP_ACTIVE
