--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -80,15 +80,15 @@
     ) -> None:
         """Add a learned record, the oldest goes when there are too many."""
         state = self.state
-        service = state.current_service_of(segment.key)
-        if service is None or segment.flags & CLOSE_FLAGS:
+        service_number = state.current_service_of(segment.key)
+        if service_number is None or segment.flags & CLOSE_FLAGS:
             return
-        if not state.routes.permits(server_number, service):
+        if not state.routes.permits(server_number, service_number):
             return
         if state.settings.learned_limit <= 0:
             return
         self.evict_learned_records()
-        slot = state.table.add(segment.key, Role.LEARNED, server_number, service)
+        slot = state.table.add(segment.key, Role.LEARNED, server_number, service_number)
         state.learned_keys.append(segment.key)
         if not segment.is_tcp:
             state.table.statuses[slot] = FlowStatus.UDP_ACTIVE
