--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -98,14 +98,17 @@
         """Drop the oldest learned record when the cache is full."""
         state = self.state
         table = state.table
-        order = state.learned_keys
-        while table.role_counts[Role.LEARNED] >= state.settings.learned_limit and order:
-            slot = table.slots.get(order.popleft())
+        learned_keys = state.learned_keys
+        while (
+            table.role_counts[Role.LEARNED] >= state.settings.learned_limit
+            and learned_keys
+        ):
+            slot = table.slots.get(learned_keys.popleft())
             if slot is not None and table.roles[slot] == Role.LEARNED:
                 table.remove(slot)
-        if len(order) > LEARNED_KEYS_FACTOR * state.settings.learned_limit:
+        if len(learned_keys) > LEARNED_KEYS_FACTOR * state.settings.learned_limit:
             state.learned_keys = deque(
-                dict.fromkeys(filter(self.has_learned_record, order))
+                dict.fromkeys(filter(self.has_learned_record, learned_keys))
             )
 
     def has_learned_record(self, key: object) -> bool:
