--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -125,8 +125,8 @@
         self.advance_server_next(slot, segment)
         if segment.flags & FLAG_ACK and table.roles[slot] != Role.OWNER:
             table.server_acks[slot] = segment.ack
-        opening = segment.flags & (FLAG_SYN | FLAG_RST)
-        if not opening and table.statuses[slot] == FlowStatus.HALF_OPEN:
+        is_syn_or_rst = segment.flags & (FLAG_SYN | FLAG_RST)
+        if not is_syn_or_rst and table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = FlowStatus.ESTABLISHED
         if segment.flags & CLOSE_FLAGS and table.roles[slot] == Role.LEARNED:
             table.remove(slot)
