--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -134,10 +134,10 @@
     def advance_server_next(self, slot: int, segment: Segment) -> None:
         """Move the next sequence number of the server forward."""
         table = self.state.table
-        end = next_seq(segment)
+        end_seq = next_seq(segment)
         seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
-        if not seen or seq_after(end, table.server_nexts[slot]):
-            table.server_nexts[slot] = end
+        if not seen or seq_after(end_seq, table.server_nexts[slot]):
+            table.server_nexts[slot] = end_seq
             table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
 
     def handle_as_owner(self, segment: Segment, server: Address, now: float) -> None:
