Rename seen to next_known

It tells whether the next sequence number is known.

Rename: libs/flows/src/kumquatmux_flows/replies.py seen next_known

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -135,8 +135,8 @@
         """Move the next sequence number of the server forward."""
         table = self.state.table
         end_seq = next_seq(segment)
-        seen = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
-        if not seen or seq_after(end_seq, table.server_nexts[slot]):
+        next_known = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
+        if not next_known or seq_after(end_seq, table.server_nexts[slot]):
             table.server_nexts[slot] = end_seq
             table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
 
