--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -144,11 +144,11 @@
         """Handle a reply as the owner of its flow."""
         state = self.state
         table = state.table
-        number = self.server_number_of(segment, server)
+        server_number = self.server_number_of(segment, server)
         slot = table.slots.get(segment.key)
         if slot is None or table.roles[slot] == Role.LEARNED:
             self.handle_without_record(segment, server, now)
-        elif table.servers[slot] != number:
+        elif table.servers[slot] != server_number:
             self.drop_crossed_reply(slot, segment)
         elif not state.server_permitted(slot):
             state.drop_packet(Refusal.SERVICE_CROSSED)
