--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -160,9 +160,9 @@
     ) -> None:
         """Pass on a reply whose flow has no record here, and learn it."""
         state = self.state
-        service = state.current_service_of(segment.key)
+        service_number = state.current_service_of(segment.key)
         number = state.routes.server_numbers[server]
-        if service is None or not state.routes.permits(number, service):
+        if service_number is None or not state.routes.permits(number, service_number):
             state.drop_packet(Refusal.SERVICE_CROSSED)
             return
         self.learn_flow(segment, server, now)
