--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -161,8 +161,10 @@
         """Pass on a reply whose flow has no record here, and learn it."""
         state = self.state
         service_number = state.current_service_of(segment.key)
-        number = state.routes.server_numbers[server]
-        if service_number is None or not state.routes.permits(number, service_number):
+        server_number = state.routes.server_numbers[server]
+        if service_number is None or not state.routes.permits(
+            server_number, service_number
+        ):
             state.drop_packet(Refusal.SERVICE_CROSSED)
             return
         self.learn_flow(segment, server, now)
