--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -201,12 +201,12 @@
         else:
             state.table.flow_flags[slot] |= FlowFlag.SERVER_FIN
             self.caller_handler.flow_tracker.handle_fin(slot, now)
-        backup = self.caller_handler.backup_copies.backup_vm_of(slot)
-        if backup is None:
+        backup_vm = self.caller_handler.backup_copies.backup_vm_of(slot)
+        if backup_vm is None:
             self.send_to_caller(segment)
             return
         passing = Passing(Stage.REPLY_CLOSE, 0, state.binding_of(slot))
-        state.out.append(SendToPeer(backup, passing, segment.packet))
+        state.out.append(SendToPeer(backup_vm, passing, segment.packet))
 
     def close_as_backup(self, segment: Segment, binding: Binding, now: float) -> None:
         """Follow, as the backup, the end a server gives to a flow."""
