Rename passing to header

It is the header of a packet between VMs.

Rename: libs/flows/src/kumquatmux_flows/replies.py passing header

--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -205,8 +205,8 @@
         if backup_vm is None:
             self.send_to_caller(segment)
             return
-        passing = Passing(Stage.REPLY_CLOSE, 0, state.binding_of(slot))
-        state.out.append(SendToPeer(backup_vm, passing, segment.packet))
+        header = Passing(Stage.REPLY_CLOSE, 0, state.binding_of(slot))
+        state.out.append(SendToPeer(backup_vm, header, segment.packet))
 
     def close_as_backup(self, segment: Segment, binding: Binding, now: float) -> None:
         """Follow, as the backup, the end a server gives to a flow."""
