--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -224,5 +224,5 @@
     def send_to_caller(self, segment: Segment) -> None:
         """Send a reply to its caller from the service address."""
         key = segment.key
-        service = Address(key[5:9] + key[11:13])
-        self.state.out.append(SendToCaller(service, segment.packet))
+        service_address = Address(key[5:9] + key[11:13])
+        self.state.out.append(SendToCaller(service_address, segment.packet))
