--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -73,8 +73,8 @@
         """Add to the budgets what the time allows."""
         self.batch_exchange.refill_budget(elapsed)
         rate = self.state.settings.probes_per_second
-        left = self.state.probe_budget + rate * elapsed
-        self.state.probe_budget = min(left, max(rate * BURST_SECONDS, 1.0))
+        probe_budget = self.state.probe_budget + rate * elapsed
+        self.state.probe_budget = min(probe_budget, max(rate * BURST_SECONDS, 1.0))
 
     def take_due_slots(self, elapsed: float) -> int:
         """Return how many slots this tick looks at."""
