--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -80,8 +80,8 @@
         """Return how many slots this tick looks at."""
         settings = self.state.settings
         size = len(self.state.table.keys)
-        speed = LEAVING_SPEED_FACTOR if self.state.ranking.leaving else 1.0
-        self.due_slots += size * elapsed * speed / settings.sweep_seconds
+        speed_factor = LEAVING_SPEED_FACTOR if self.state.ranking.leaving else 1.0
+        self.due_slots += size * elapsed * speed_factor / settings.sweep_seconds
         whole = min(int(self.due_slots), settings.sweep_slots_per_tick, size)
         self.due_slots = min(self.due_slots - whole, float(size))
         return whole
