--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -82,9 +82,9 @@
         size = len(self.state.table.keys)
         speed_factor = LEAVING_SPEED_FACTOR if self.state.ranking.leaving else 1.0
         self.due_slots += size * elapsed * speed_factor / settings.sweep_seconds
-        whole = min(int(self.due_slots), settings.sweep_slots_per_tick, size)
-        self.due_slots = min(self.due_slots - whole, float(size))
-        return whole
+        slot_count = min(int(self.due_slots), settings.sweep_slots_per_tick, size)
+        self.due_slots = min(self.due_slots - slot_count, float(size))
+        return slot_count
 
     def visit_next_slot(self, now: float) -> None:
         """Look at the next slot."""
