--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -79,11 +79,11 @@
     def take_due_slots(self, elapsed: float) -> int:
         """Return how many slots this tick looks at."""
         settings = self.state.settings
-        size = len(self.state.table.keys)
+        table_size = len(self.state.table.keys)
         speed_factor = LEAVING_SPEED_FACTOR if self.state.ranking.leaving else 1.0
-        self.due_slots += size * elapsed * speed_factor / settings.sweep_seconds
-        slot_count = min(int(self.due_slots), settings.sweep_slots_per_tick, size)
-        self.due_slots = min(self.due_slots - slot_count, float(size))
+        self.due_slots += table_size * elapsed * speed_factor / settings.sweep_seconds
+        slot_count = min(int(self.due_slots), settings.sweep_slots_per_tick, table_size)
+        self.due_slots = min(self.due_slots - slot_count, float(table_size))
         return slot_count
 
     def visit_next_slot(self, now: float) -> None:
