--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -117,8 +117,8 @@
         its owner has it open.
         """
         state = self.state
-        place = state.routes.service_keys[state.table.services[slot]]
-        return state.ranking.rank(place)[:1] == [state.vm]
+        service_key = state.routes.service_keys[state.table.services[slot]]
+        return state.ranking.rank(service_key)[:1] == [state.vm]
 
     def end_reassigned_flow(self, slot: int, key: FlowKey, now: float) -> None:
         """Give up a flow whose server's address now serves another service.
