--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -151,12 +151,14 @@
         """Put a record where it belongs by the view in force."""
         state = self.state
         table = state.table
-        place = state.routes.service_keys[table.services[slot]]
-        owner = state.ranking.rank(place)[:1]
+        service_key = state.routes.service_keys[table.services[slot]]
+        owner = state.ranking.rank(service_key)[:1]
         if not owner:
             return
         if owner[0] != state.vm:
-            if table.roles[slot] == Role.OWNER or self.is_orphaned(slot, place, now):
+            if table.roles[slot] == Role.OWNER or self.is_orphaned(
+                slot, service_key, now
+            ):
                 self.hand_over(slot, owner[0], now)
             return
         if table.roles[slot] == Role.BACKUP:
