--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -152,14 +152,14 @@
         state = self.state
         table = state.table
         service_key = state.routes.service_keys[table.services[slot]]
-        owner = state.ranking.rank(service_key)[:1]
-        if not owner:
+        owners = state.ranking.rank(service_key)[:1]
+        if not owners:
             return
-        if owner[0] != state.vm:
+        if owners[0] != state.vm:
             if table.roles[slot] == Role.OWNER or self.is_orphaned(
                 slot, service_key, now
             ):
-                self.hand_over(slot, owner[0], now)
+                self.hand_over(slot, owners[0], now)
             return
         if table.roles[slot] == Role.BACKUP:
             state.take_ownership(slot, "owner-gone")
