--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -167,9 +167,9 @@
         self.silence_detector.offer_reference_flow(slot, key, now)
         self.silence_detector.probe_idle_flow(slot, key, now)
 
-    def is_orphaned(self, slot: int, place: bytes, now: float) -> bool:
+    def is_orphaned(self, slot: int, service_key: bytes, now: float) -> bool:
         """Return whether a copy was not claimed by the owner of a newer view."""
-        changed = self.state.ranking.owner_change_times.get(place)
+        changed = self.state.ranking.owner_change_times.get(service_key)
         if changed is None or now - changed < self.state.settings.view_settle_seconds:
             return False
         return self.state.table.backup_times[slot] < changed
