--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -169,10 +169,13 @@
 
     def is_orphaned(self, slot: int, service_key: bytes, now: float) -> bool:
         """Return whether a copy was not claimed by the owner of a newer view."""
-        changed = self.state.ranking.owner_change_times.get(service_key)
-        if changed is None or now - changed < self.state.settings.view_settle_seconds:
+        owner_changed_at = self.state.ranking.owner_change_times.get(service_key)
+        if (
+            owner_changed_at is None
+            or now - owner_changed_at < self.state.settings.view_settle_seconds
+        ):
             return False
-        return self.state.table.backup_times[slot] < changed
+        return self.state.table.backup_times[slot] < owner_changed_at
 
     def hand_over(self, slot: int, owner: VmId, now: float) -> None:
         """Give a record to the VM that owns it now."""
