--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -180,9 +180,13 @@
     def hand_over(self, slot: int, owner: VmId, now: float) -> None:
         """Give a record to the VM that owns it now."""
         state = self.state
-        held = state.table.backup_vms[slot] == state.ranking.vm_number(owner)
+        owner_has_copy = state.table.backup_vms[slot] == state.ranking.vm_number(owner)
         owned = state.table.roles[slot] == Role.OWNER
-        if owned and held and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
+        if (
+            owned
+            and owner_has_copy
+            and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
+        ):
             state.release_ownership(slot, Role.BACKUP, "owner-moved")
             return
         self.batch_exchange.add_to_batch(slot, owner, now)
