--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -181,9 +181,9 @@
         """Give a record to the VM that owns it now."""
         state = self.state
         owner_has_copy = state.table.backup_vms[slot] == state.ranking.vm_number(owner)
-        owned = state.table.roles[slot] == Role.OWNER
+        is_owner = state.table.roles[slot] == Role.OWNER
         if (
-            owned
+            is_owner
             and owner_has_copy
             and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
         ):
