--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -195,16 +195,16 @@
         """Give the backup a record that no packet has brought to it."""
         state = self.state
         table = state.table
-        backup = self.caller_handler.backup_copies.backup_vm_of(slot)
-        if backup is None:
+        backup_vm = self.caller_handler.backup_copies.backup_vm_of(slot)
+        if backup_vm is None:
             return
         if self.state.idle_seconds(slot, now) < IDLE_BEFORE_REPAIR_SECONDS:
             return
-        held = table.backup_vms[slot] == state.ranking.vm_number(backup)
+        held = table.backup_vms[slot] == state.ranking.vm_number(backup_vm)
         fresh = now - table.backup_times[slot] < self.idle_limit(slot) / 2
         if held and fresh and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
             return
-        self.batch_exchange.add_to_batch(slot, backup, now)
+        self.batch_exchange.add_to_batch(slot, backup_vm, now)
 
     def expire_provisional_slots(self, now: float) -> None:
         """Give back the slots of new flows that sent nothing."""
