--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -200,9 +200,13 @@
             return
         if self.state.idle_seconds(slot, now) < IDLE_BEFORE_REPAIR_SECONDS:
             return
-        held = table.backup_vms[slot] == state.ranking.vm_number(backup_vm)
+        backup_has_copy = table.backup_vms[slot] == state.ranking.vm_number(backup_vm)
         fresh = now - table.backup_times[slot] < self.idle_limit(slot) / 2
-        if held and fresh and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED:
+        if (
+            backup_has_copy
+            and fresh
+            and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
+        ):
             return
         self.batch_exchange.add_to_batch(slot, backup_vm, now)
 
