--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -201,10 +201,10 @@
         if self.state.idle_seconds(slot, now) < IDLE_BEFORE_REPAIR_SECONDS:
             return
         backup_has_copy = table.backup_vms[slot] == state.ranking.vm_number(backup_vm)
-        fresh = now - table.backup_times[slot] < self.idle_limit(slot) / 2
+        is_recent = now - table.backup_times[slot] < self.idle_limit(slot) / 2
         if (
             backup_has_copy
-            and fresh
+            and is_recent
             and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
         ):
             return
