--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -215,9 +215,9 @@
         state = self.state
         table = state.table
         while state.provisional_slots and state.provisional_slots[0].expires_at <= now:
-            grace = state.provisional_slots.popleft()
-            slot = table.slots.get(grace.key)
-            if slot is None or table.epochs[slot] != grace.epoch:
+            provisional_slot = state.provisional_slots.popleft()
+            slot = table.slots.get(provisional_slot.key)
+            if slot is None or table.epochs[slot] != provisional_slot.epoch:
                 continue
             if table.flow_flags[slot] & FlowFlag.WORK_PROVISIONAL:
                 state.finish_work(slot)
