--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -64,8 +64,8 @@
     def refill_budget(self, elapsed: float) -> None:
         """Add to the budget what the time allows."""
         rate = self.state.settings.repair_bytes_per_second
-        full = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_HEADER_BYTES)
-        self.byte_budget = min(self.byte_budget + rate * elapsed, full)
+        max_budget = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_HEADER_BYTES)
+        self.byte_budget = min(self.byte_budget + rate * elapsed, max_budget)
 
     def send_open_batches(self, now: float) -> None:
         """Send every batch that has begun."""
