--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -123,8 +123,10 @@
         """Send the batch for a VM."""
         records = tuple(self.open_batches.pop(vm))
         self.last_batch_number += 1
-        until = now + self.state.settings.batch_timeout_seconds
-        self.unconfirmed_batches[self.last_batch_number] = SentBatch(vm, until, records)
+        expires_at = now + self.state.settings.batch_timeout_seconds
+        self.unconfirmed_batches[self.last_batch_number] = SentBatch(
+            vm, expires_at, records
+        )
         self.state.out.append(
             SendMessage(vm, RecordBatch(self.last_batch_number, records))
         )
