Rename late to expired_numbers

It holds the numbers of expired batches.

Rename: libs/flows/src/kumquatmux_flows/batches.py late expired_numbers

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -133,12 +133,12 @@
 
     def expire_batches(self, now: float) -> None:
         """Forget batches that were not confirmed in time."""
-        late = [
+        expired_numbers = [
             number
             for number, sent in self.unconfirmed_batches.items()
             if sent.expires_at <= now
         ]
-        for number in late:
+        for number in expired_numbers:
             del self.unconfirmed_batches[number]
 
     def handle_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
