--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -135,7 +135,7 @@
         """Forget batches that were not confirmed in time."""
         expired_numbers = [
             number
-            for number, sent in self.unconfirmed_batches.items()
+            for number, batch in self.unconfirmed_batches.items()
             if sent.expires_at <= now
         ]
         for number in expired_numbers:
