Rename better to preferred_records

It holds the records that win here.

Rename: libs/flows/src/kumquatmux_flows/batches.py better preferred_records

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -143,12 +143,12 @@
 
     def handle_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
         """Keep the records another VM gives."""
-        better = []
+        preferred_records = []
         for record in batch.records:
             kept = self.store_record(record, now, trusted=False)
             if kept is not None:
-                better.append(kept)
-        answer = BatchStored(batch.batch_number, tuple(better))
+                preferred_records.append(kept)
+        answer = BatchStored(batch.batch_number, tuple(preferred_records))
         self.state.out.append(SendMessage(sender, answer))
 
     def store_record(
