--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -145,9 +145,9 @@
         """Keep the records another VM gives."""
         preferred_records = []
         for record in batch.records:
-            kept = self.store_record(record, now, trusted=False)
-            if kept is not None:
-                preferred_records.append(kept)
+            own_record = self.store_record(record, now, trusted=False)
+            if own_record is not None:
+                preferred_records.append(own_record)
         answer = BatchStored(batch.batch_number, tuple(preferred_records))
         self.state.out.append(SendMessage(sender, answer))
 
