--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -148,8 +148,8 @@
             own_record = self.store_record(record, now, trusted=False)
             if own_record is not None:
                 preferred_records.append(own_record)
-        answer = BatchStored(batch.batch_number, tuple(preferred_records))
-        self.state.out.append(SendMessage(sender, answer))
+        confirmation = BatchStored(batch.batch_number, tuple(preferred_records))
+        self.state.out.append(SendMessage(sender, confirmation))
 
     def store_record(
         self, record: FlowRecord, now: float, *, trusted: bool
