Rename trusted to always_replace

It says what the argument does.

Rename: libs/flows/src/kumquatmux_flows/batches.py trusted always_replace

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -145,14 +145,14 @@
         """Keep the records another VM gives."""
         preferred_records = []
         for record in batch.records:
-            own_record = self.store_record(record, now, trusted=False)
+            own_record = self.store_record(record, now, always_replace=False)
             if own_record is not None:
                 preferred_records.append(own_record)
         confirmation = BatchStored(batch.batch_number, tuple(preferred_records))
         self.state.out.append(SendMessage(sender, confirmation))
 
     def store_record(
-        self, record: FlowRecord, now: float, *, trusted: bool
+        self, record: FlowRecord, now: float, *, always_replace: bool
     ) -> FlowRecord | None:
         """Keep one record, or return the better one that is here."""
         state = self.state
@@ -162,7 +162,7 @@
             table.remove(slot)
             slot = None
         if slot is not None and state.server_address_of(slot) != record.server:
-            if not trusted and not self.record_wins(record, slot, now):
+            if not always_replace and not self.record_wins(record, slot, now):
                 return self.build_record(slot, now)
             self.discard_record(slot, now)
             slot = None
@@ -255,7 +255,7 @@
             if slot is not None and record.key not in better:
                 self.confirm_record(slot, sender, now)
         for record in stored.preferred_records:
-            self.store_record(record, now, trusted=True)
+            self.store_record(record, now, always_replace=True)
 
     def confirm_record(self, slot: int, vm: VmId, now: float) -> None:
         """Note that a VM keeps one record."""
