Rename opened to established

It is the term of the flow status.

Rename: libs/flows/src/kumquatmux_flows/batches.py opened established

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -183,9 +183,9 @@
             return True
         if record.epoch != table.epochs[slot]:
             return record.epoch > table.epochs[slot]
-        opened = record.status != FlowStatus.HALF_OPEN
-        if opened != (status != FlowStatus.HALF_OPEN):
-            return opened
+        established = record.status != FlowStatus.HALF_OPEN
+        if established != (status != FlowStatus.HALF_OPEN):
+            return established
         idle = int(max(self.state.idle_seconds(slot, now), 0.0))
         if record.idle_seconds != idle:
             return record.idle_seconds < idle
