--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -186,9 +186,9 @@
         established = record.status != FlowStatus.HALF_OPEN
         if established != (status != FlowStatus.HALF_OPEN):
             return established
-        idle = int(max(self.state.idle_seconds(slot, now), 0.0))
-        if record.idle_seconds != idle:
-            return record.idle_seconds < idle
+        own_idle_seconds = int(max(self.state.idle_seconds(slot, now), 0.0))
+        if record.idle_seconds != own_idle_seconds:
+            return record.idle_seconds < own_idle_seconds
         return record.server < state.server_address_of(slot)
 
     def discard_record(self, slot: int, now: float) -> None:
