--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -204,13 +204,13 @@
             self.binding_store.drop_backup_copy(slot)
         state.remove_flow(slot, Refusal.CONFLICT, now)
 
-    def handle_lost_record(self, lost: LostRecord, now: float) -> None:
+    def handle_lost_record(self, message: LostRecord, now: float) -> None:
         """Drop the second copy of a record that lost against another."""
         state = self.state
-        slot = state.table.slots.get(lost.key)
+        slot = state.table.slots.get(message.key)
         if slot is None or state.table.roles[slot] == Role.OWNER:
             return
-        if state.server_address_of(slot) == lost.server:
+        if state.server_address_of(slot) == message.server:
             state.remove_flow(slot, Refusal.CONFLICT, now)
 
     def add_record(self, record: FlowRecord, now: float) -> int:
