--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -217,8 +217,8 @@
         """Return the slot of a record that was not here."""
         state = self.state
         table = state.table
-        place = service_key_of(record.key)
-        service = state.routes.service_number(record.service, place)
+        service_key = service_key_of(record.key)
+        service = state.routes.service_number(record.service, service_key)
         server = state.routes.server_number(record.server, record.service)
         slot = table.add(record.key, Role.BACKUP, server, service)
         table.statuses[slot] = record.status
