--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -218,9 +218,9 @@
         state = self.state
         table = state.table
         service_key = service_key_of(record.key)
-        service = state.routes.service_number(record.service, service_key)
+        service_number = state.routes.service_number(record.service, service_key)
         server = state.routes.server_number(record.server, record.service)
-        slot = table.add(record.key, Role.BACKUP, server, service)
+        slot = table.add(record.key, Role.BACKUP, server, service_number)
         table.statuses[slot] = record.status
         table.server_acks[slot] = record.server_ack
         table.caller_nexts[slot] = record.server_ack
