--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -219,8 +219,8 @@
         table = state.table
         service_key = service_key_of(record.key)
         service_number = state.routes.service_number(record.service, service_key)
-        server = state.routes.server_number(record.server, record.service)
-        slot = table.add(record.key, Role.BACKUP, server, service_number)
+        server_number = state.routes.server_number(record.server, record.service)
+        slot = table.add(record.key, Role.BACKUP, server_number, service_number)
         table.statuses[slot] = record.status
         table.server_acks[slot] = record.server_ack
         table.caller_nexts[slot] = record.server_ack
