--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -238,8 +238,8 @@
         table.backup_times[slot] = now
         if table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = record.status
-        place = self.state.routes.service_keys[table.services[slot]]
-        if self.state.ranking.owns(place):
+        service_key = self.state.routes.service_keys[table.services[slot]]
+        if self.state.ranking.owns(service_key):
             self.state.take_ownership(slot, "handed-over")
 
     def handle_batch_stored(
