--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -246,11 +246,11 @@
         self, sender: VmId, stored: BatchStored, now: float
     ) -> None:
         """Note that another VM keeps the records of a batch."""
-        sent = self.unconfirmed_batches.pop(stored.batch_number, None)
-        if sent is None or sent.vm != sender:
+        batch = self.unconfirmed_batches.pop(stored.batch_number, None)
+        if batch is None or batch.vm != sender:
             return
         better = {record.key for record in stored.preferred_records}
-        for record in sent.records:
+        for record in batch.records:
             slot = self.state.table.slots.get(record.key)
             if slot is not None and record.key not in better:
                 self.confirm_record(slot, sender, now)
