--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -243,18 +243,18 @@
             self.state.take_ownership(slot, "handed-over")
 
     def handle_batch_stored(
-        self, sender: VmId, stored: BatchStored, now: float
+        self, sender: VmId, confirmation: BatchStored, now: float
     ) -> None:
         """Note that another VM keeps the records of a batch."""
-        batch = self.unconfirmed_batches.pop(stored.batch_number, None)
+        batch = self.unconfirmed_batches.pop(confirmation.batch_number, None)
         if batch is None or batch.vm != sender:
             return
-        better = {record.key for record in stored.preferred_records}
+        better = {record.key for record in confirmation.preferred_records}
         for record in batch.records:
             slot = self.state.table.slots.get(record.key)
             if slot is not None and record.key not in better:
                 self.confirm_record(slot, sender, now)
-        for record in stored.preferred_records:
+        for record in confirmation.preferred_records:
             self.store_record(record, now, always_replace=True)
 
     def confirm_record(self, slot: int, vm: VmId, now: float) -> None:
