Rename better to preferred_keys

It holds keys of the records that win at the receiver.

Rename: libs/flows/src/kumquatmux_flows/batches.py better preferred_keys

--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -249,10 +249,10 @@
         batch = self.unconfirmed_batches.pop(confirmation.batch_number, None)
         if batch is None or batch.vm != sender:
             return
-        better = {record.key for record in confirmation.preferred_records}
+        preferred_keys = {record.key for record in confirmation.preferred_records}
         for record in batch.records:
             slot = self.state.table.slots.get(record.key)
-            if slot is not None and record.key not in better:
+            if slot is not None and record.key not in preferred_keys:
                 self.confirm_record(slot, sender, now)
         for record in confirmation.preferred_records:
             self.store_record(record, now, always_replace=True)
