--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -266,6 +266,6 @@
             return
         table.backup_vms[slot] = state.ranking.vm_number(vm)
         table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
-        place = state.routes.service_keys[table.services[slot]]
-        if state.ranking.rank(place)[:1] == [vm]:
+        service_key = state.routes.service_keys[table.services[slot]]
+        if state.ranking.rank(service_key)[:1] == [vm]:
             state.release_ownership(slot, Role.BACKUP, "owner-moved")
