--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -46,8 +46,8 @@
     def handle_reply_ack(self, slot: int, ack: int, now: float) -> None:
         """Note a reply: it ends the silence if it acknowledges all, or more."""
         table = self.state.table
-        known = table.server_acks[slot]
-        progress = known == 0 or seq_after(ack, known)
+        last_ack = table.server_acks[slot]
+        progress = last_ack == 0 or seq_after(ack, last_ack)
         if progress:
             table.server_acks[slot] = ack
         whole = seq_at_or_after(ack, table.caller_nexts[slot])
