--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -47,11 +47,11 @@
         """Note a reply: it ends the silence if it acknowledges all, or more."""
         table = self.state.table
         last_ack = table.server_acks[slot]
-        progress = last_ack == 0 or seq_after(ack, last_ack)
-        if progress:
+        is_new_ack = last_ack == 0 or seq_after(ack, last_ack)
+        if is_new_ack:
             table.server_acks[slot] = ack
         whole = seq_at_or_after(ack, table.caller_nexts[slot])
-        if not whole and not progress:
+        if not whole and not is_new_ack:
             return
         if table.strikes[slot] or (
             whole and table.flow_flags[slot] & FlowFlag.WORK_PENDING
