Rename whole to covers_all

It tells whether all bytes are acknowledged.

Rename: libs/flows/src/kumquatmux_flows/silence.py whole covers_all

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -50,11 +50,11 @@
         is_new_ack = last_ack == 0 or seq_after(ack, last_ack)
         if is_new_ack:
             table.server_acks[slot] = ack
-        whole = seq_at_or_after(ack, table.caller_nexts[slot])
-        if not whole and not is_new_ack:
+        covers_all = seq_at_or_after(ack, table.caller_nexts[slot])
+        if not covers_all and not is_new_ack:
             return
         if table.strikes[slot] or (
-            whole and table.flow_flags[slot] & FlowFlag.WORK_PENDING
+            covers_all and table.flow_flags[slot] & FlowFlag.WORK_PENDING
         ):
             self.record_answer(slot, now)
         elif table.servers[slot] in self.probed_servers:
