--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -65,11 +65,11 @@
         """Remember that a server answered a packet of this VM."""
         table = self.state.table
         key = table.keys[slot]
-        server = table.servers[slot]
-        self.state.routes.answer_times[server] = now
+        server_number = table.servers[slot]
+        self.state.routes.answer_times[server_number] = now
         if key is not None:
-            self.reference_flows[server] = key
-        self.probed_servers.discard(server)
+            self.reference_flows[server_number] = key
+        self.probed_servers.discard(server_number)
 
     def record_reference_answer(self, slot: int, now: float) -> None:
         """Note the answer of the flow that was probed as a witness."""
