--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -81,13 +81,13 @@
         """Probe another flow of a server, to learn whether it answers anybody."""
         state = self.state
         table = state.table
-        server = table.servers[slot]
-        key = self.reference_flows.get(server)
-        other = self.reference_slot(server)
+        server_number = table.servers[slot]
+        key = self.reference_flows.get(server_number)
+        other = self.reference_slot(server_number)
         if key is None or other is None or other == slot or state.probe_budget < 1.0:
             return
         state.probe_budget -= 1.0
-        self.probed_servers.add(server)
+        self.probed_servers.add(server_number)
         seq = table.server_acks[other] - 1 & SEQUENCE_MASK
         ack = table.server_nexts[other]
         state.out.append(ProbeServer(key, state.server_address_of(other), seq, ack))
