Rename other to reference_slot

It is the slot of the reference flow.

Rename: libs/flows/src/kumquatmux_flows/silence.py other reference_slot

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -83,14 +83,21 @@
         table = state.table
         server_number = table.servers[slot]
         key = self.reference_flows.get(server_number)
-        other = self.reference_slot(server_number)
-        if key is None or other is None or other == slot or state.probe_budget < 1.0:
+        reference_slot = self.reference_slot(server_number)
+        if (
+            key is None
+            or reference_slot is None
+            or reference_slot == slot
+            or state.probe_budget < 1.0
+        ):
             return
         state.probe_budget -= 1.0
         self.probed_servers.add(server_number)
-        seq = table.server_acks[other] - 1 & SEQUENCE_MASK
-        ack = table.server_nexts[other]
-        state.out.append(ProbeServer(key, state.server_address_of(other), seq, ack))
+        seq = table.server_acks[reference_slot] - 1 & SEQUENCE_MASK
+        ack = table.server_nexts[reference_slot]
+        state.out.append(
+            ProbeServer(key, state.server_address_of(reference_slot), seq, ack)
+        )
 
     def reference_slot(self, server: int) -> int | None:
         """Return the slot of a server's witness, None if it can be none any more."""
