--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -99,12 +99,12 @@
             ProbeServer(key, state.server_address_of(reference_slot), seq, ack)
         )
 
-    def reference_slot(self, server: int) -> int | None:
+    def reference_slot(self, server_number: int) -> int | None:
         """Return the slot of a server's witness, None if it can be none any more."""
         table = self.state.table
-        key = self.reference_flows.get(server)
+        key = self.reference_flows.get(server_number)
         slot = None if key is None else table.slots.get(key)
-        if slot is None or table.servers[slot] != server:
+        if slot is None or table.servers[slot] != server_number:
             return None
         if table.roles[slot] != Role.OWNER or not self.state.server_permitted(slot):
             return None
