--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -117,8 +117,8 @@
             return
         if now - table.reply_times[slot] > self.state.settings.probe_idle_seconds:
             return
-        witness = self.reference_slot(table.servers[slot])
-        if witness is None or table.strikes[witness]:
+        reference_slot = self.reference_slot(table.servers[slot])
+        if reference_slot is None or table.strikes[reference_slot]:
             self.reference_flows[table.servers[slot]] = key
 
     def strike(self, slot: int, gap: float, now: float) -> None:
