--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -121,14 +121,14 @@
         if reference_slot is None or table.strikes[reference_slot]:
             self.reference_flows[table.servers[slot]] = key
 
-    def strike(self, slot: int, gap: float, now: float) -> None:
+    def strike(self, slot: int, min_gap_seconds: float, now: float) -> None:
         """Note a retransmission or probe, at most one in a gap of seconds."""
         state = self.state
         table = state.table
         latest = table.strike_times[slot]
         if table.strikes[slot] == 0:
             table.strikes[slot] = 1
-        elif now - latest < gap:
+        elif now - latest < min_gap_seconds:
             return
         elif state.routes.answer_times[table.servers[slot]] > latest:
             table.strikes[slot] = min(table.strikes[slot] + 1, WAS_RESET - 1)
