--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -125,12 +125,12 @@
         """Note a retransmission or probe, at most one in a gap of seconds."""
         state = self.state
         table = state.table
-        latest = table.strike_times[slot]
+        last_counted_time = table.strike_times[slot]
         if table.strikes[slot] == 0:
             table.strikes[slot] = 1
-        elif now - latest < min_gap_seconds:
+        elif now - last_counted_time < min_gap_seconds:
             return
-        elif state.routes.answer_times[table.servers[slot]] > latest:
+        elif state.routes.answer_times[table.servers[slot]] > last_counted_time:
             table.strikes[slot] = min(table.strikes[slot] + 1, WAS_RESET - 1)
         table.strike_times[slot] = now
         self.probe_reference_flow(slot)
