Rename gap to min_gap_seconds

It is the least gap in seconds.

Rename: libs/flows/src/kumquatmux_flows/silence.py gap min_gap_seconds

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -139,8 +139,8 @@
         """Note a retransmission, and reset the flow when it was one too many."""
         state = self.state
         settings = state.settings
-        gap = settings.silent_seconds / settings.silent_retransmit_limit
-        self.strike(slot, gap, now)
+        min_gap_seconds = settings.silent_seconds / settings.silent_retransmit_limit
+        self.strike(slot, min_gap_seconds, now)
         if state.table.strikes[slot] <= settings.silent_retransmit_limit:
             return
         state.out.append(
