Rename waited to since_last_probe

It is the time since the last probe.

Rename: libs/flows/src/kumquatmux_flows/silence.py waited since_last_probe

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -163,8 +163,8 @@
             return
         if now - table.reply_times[slot] < settings.probe_idle_seconds:
             return
-        waited = now - table.strike_times[slot]
-        if table.strikes[slot] and waited < settings.probe_interval_seconds:
+        since_last_probe = now - table.strike_times[slot]
+        if table.strikes[slot] and since_last_probe < settings.probe_interval_seconds:
             return
         if state.probe_budget < 1.0:
             return
