Rename before to probe_seq

It is the sequence number of the probe.

Rename: libs/flows/src/kumquatmux_flows/silence.py before probe_seq

--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -224,8 +224,8 @@
             )
         segment = Segment(key, FLAG_ACK, server_ack, caller_ack, 0, b"")
         state.out.append(ResetCaller(segment, reason))
-        before = caller_ack - 1 & SEQUENCE_MASK
-        state.out.append(ProbeCaller(key, before, server_ack))
+        probe_seq = caller_ack - 1 & SEQUENCE_MASK
+        state.out.append(ProbeCaller(key, probe_seq, server_ack))
 
     def repeat_reset(self, slot: int, key: FlowKey, now: float) -> None:
         """Reset a silent flow again while its key is in quarantine: resets get lost."""
