Rename passing to header

It is the header of a packet between VMs.

Rename: libs/flows/src/kumquatmux_flows/engine.py passing header

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -110,8 +110,8 @@
         if owner == self.vm or owner is None:
             self.caller_handler.handle_packet(segment, now)
             return
-        passing = Passing(Stage.TO_OWNER, 1)
-        state.out.append(SendToPeer(owner, passing, segment.packet))
+        header = Passing(Stage.TO_OWNER, 1)
+        state.out.append(SendToPeer(owner, header, segment.packet))
 
     @apply_event.register
     def _(self, event: ServerPacket, now: float) -> None:
