Rename passing to header

It is the header of a packet between VMs.

Rename: libs/flows/src/kumquatmux_flows/engine.py passing header

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -179,8 +179,8 @@
         state = self.state
         state.out.append(CancelPlacement(key))
         for segment in state.pending.pop(key).segments:
-            passing = Passing(Stage.TO_OWNER, 1)
-            state.out.append(SendToPeer(owner, passing, segment.packet))
+            header = Passing(Stage.TO_OWNER, 1)
+            state.out.append(SendToPeer(owner, header, segment.packet))
 
     def cache_service_owners(self) -> None:
         """Keep, for the fast path, who owns and who backs up each service number."""
