--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -185,8 +185,8 @@
     def cache_service_owners(self) -> None:
         """Keep, for the fast path, who owns and who backs up each service number."""
         ranking = self.state.ranking
-        places = self.state.routes.service_keys
-        for place in places[len(self.owned_services) :]:
+        service_keys = self.state.routes.service_keys
+        for place in service_keys[len(self.owned_services) :]:
             self.owned_services.append(ranking.owns(place))
             self.backup_numbers.append(self.backup_numbers_by_zone(place))
 
