--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -186,9 +186,9 @@
         """Keep, for the fast path, who owns and who backs up each service number."""
         ranking = self.state.ranking
         service_keys = self.state.routes.service_keys
-        for place in service_keys[len(self.owned_services) :]:
-            self.owned_services.append(ranking.owns(place))
-            self.backup_numbers.append(self.backup_numbers_by_zone(place))
+        for service_key in service_keys[len(self.owned_services) :]:
+            self.owned_services.append(ranking.owns(service_key))
+            self.backup_numbers.append(self.backup_numbers_by_zone(service_key))
 
     def backup_numbers_by_zone(self, place: bytes) -> dict[str, int]:
         """Return the number of the backup for each zone of servers."""
