--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -190,7 +190,7 @@
             self.owned_services.append(ranking.owns(service_key))
             self.backup_numbers.append(self.backup_numbers_by_zone(service_key))
 
-    def backup_numbers_by_zone(self, place: bytes) -> dict[str, int]:
+    def backup_numbers_by_zone(self, service_key: bytes) -> dict[str, int]:
         """Return the number of the backup for each zone of servers."""
         ranking = self.state.ranking
         zones = {
@@ -198,7 +198,9 @@
             *ranking.vm_zones.values(),
             *self.state.routes.server_zones,
         }
-        return {zone: ranking.vm_number(ranking.backup(place, zone)) for zone in zones}
+        return {
+            zone: ranking.vm_number(ranking.backup(service_key, zone)) for zone in zones
+        }
 
     def route_caller(
         self,
