--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -239,15 +239,17 @@
             return routes.addresses[server]
         if not self.owned_services[service]:
             return None
-        marks = table.flow_flags[slot]
+        flow_flags = table.flow_flags[slot]
         backup = self.backup_numbers[service][routes.server_zones[server]]
         if backup != NO_VM:
-            if table.backup_vms[slot] != backup or not marks & BACKUP_CONFIRMED:
+            if table.backup_vms[slot] != backup or not flow_flags & BACKUP_CONFIRMED:
                 return None
             if now - table.backup_times[slot] > self.settings.copy_refresh_seconds:
                 return None
         if payload_length:
-            if not self.track_caller_payload(slot, flags, seq, payload_length, marks):
+            if not self.track_caller_payload(
+                slot, flags, seq, payload_length, flow_flags
+            ):
                 return None
         elif not flags:
             return None
