--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -230,10 +230,10 @@
                 return None
             if now - table.reply_times[slot] > self.settings.learned_fresh_seconds:
                 return None
-            distance = (
+            ack_offset = (
                 ack - table.server_nexts[slot] + NARROW_ACK_WINDOW_BYTES
             ) & SEQUENCE_MASK
-            if distance > 2 * NARROW_ACK_WINDOW_BYTES:
+            if ack_offset > 2 * NARROW_ACK_WINDOW_BYTES:
                 return None
             state.last_packet_time = now
             return routes.addresses[server]
