--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -240,9 +240,12 @@
         if not self.owned_services[service]:
             return None
         flow_flags = table.flow_flags[slot]
-        backup = self.backup_numbers[service][routes.server_zones[server]]
-        if backup != NO_VM:
-            if table.backup_vms[slot] != backup or not flow_flags & BACKUP_CONFIRMED:
+        backup_number = self.backup_numbers[service][routes.server_zones[server]]
+        if backup_number != NO_VM:
+            if (
+                table.backup_vms[slot] != backup_number
+                or not flow_flags & BACKUP_CONFIRMED
+            ):
                 return None
             if now - table.backup_times[slot] > self.settings.copy_refresh_seconds:
                 return None
