--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -220,9 +220,9 @@
         if table.statuses[slot] < ESTABLISHED:
             return None
         routes = state.routes
-        server = table.servers[slot]
+        server_number = table.servers[slot]
         service = table.services[slot]
-        if routes.announced[server] != routes.service_names[service]:
+        if routes.announced[server_number] != routes.service_names[service]:
             return None
         role = table.roles[slot]
         if role != OWNER:
@@ -236,11 +236,11 @@
             if ack_offset > 2 * NARROW_ACK_WINDOW_BYTES:
                 return None
             state.last_packet_time = now
-            return routes.addresses[server]
+            return routes.addresses[server_number]
         if not self.owned_services[service]:
             return None
         flow_flags = table.flow_flags[slot]
-        backup_number = self.backup_numbers[service][routes.server_zones[server]]
+        backup_number = self.backup_numbers[service][routes.server_zones[server_number]]
         if backup_number != NO_VM:
             if (
                 table.backup_vms[slot] != backup_number
@@ -262,7 +262,7 @@
             table.server_nexts[slot] = ack
         table.caller_times[slot] = now
         state.last_packet_time = now
-        return routes.addresses[server]
+        return routes.addresses[server_number]
 
     def track_caller_payload(
         self, slot: int, flags: int, seq: int, payload_length: int, marks: int
