--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -221,8 +221,8 @@
             return None
         routes = state.routes
         server_number = table.servers[slot]
-        service = table.services[slot]
-        if routes.announced[server_number] != routes.service_names[service]:
+        service_number = table.services[slot]
+        if routes.announced[server_number] != routes.service_names[service_number]:
             return None
         role = table.roles[slot]
         if role != OWNER:
@@ -237,10 +237,12 @@
                 return None
             state.last_packet_time = now
             return routes.addresses[server_number]
-        if not self.owned_services[service]:
+        if not self.owned_services[service_number]:
             return None
         flow_flags = table.flow_flags[slot]
-        backup_number = self.backup_numbers[service][routes.server_zones[server_number]]
+        backup_number = self.backup_numbers[service_number][
+            routes.server_zones[server_number]
+        ]
         if backup_number != NO_VM:
             if (
                 table.backup_vms[slot] != backup_number
