--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -267,7 +267,7 @@
         return routes.addresses[server_number]
 
     def track_caller_payload(
-        self, slot: int, flags: int, seq: int, payload_length: int, marks: int
+        self, slot: int, flags: int, seq: int, payload_length: int, flow_flags: int
     ) -> bool:
         """Count a caller's bytes as work; return False if they were seen before."""
         table = self.state.table
@@ -277,10 +277,10 @@
             if not 0 < progress < SEQUENCE_HALF:
                 return False
         table.caller_nexts[slot] = end
-        if not marks & WORK_PENDING:
+        if not flow_flags & WORK_PENDING:
             self.state.start_work(slot)
-        elif marks & WORK_PROVISIONAL:
-            table.flow_flags[slot] = marks & ~WORK_PROVISIONAL
+        elif flow_flags & WORK_PROVISIONAL:
+            table.flow_flags[slot] = flow_flags & ~WORK_PROVISIONAL
         return True
 
     def route_reply(
