--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -271,12 +271,12 @@
     ) -> bool:
         """Count a caller's bytes as work; return False if they were seen before."""
         table = self.state.table
-        end = (seq + payload_length) & SEQUENCE_MASK
+        end_seq = (seq + payload_length) & SEQUENCE_MASK
         if flags:
-            progress = (end - table.caller_nexts[slot]) & SEQUENCE_MASK
+            progress = (end_seq - table.caller_nexts[slot]) & SEQUENCE_MASK
             if not 0 < progress < SEQUENCE_HALF:
                 return False
-        table.caller_nexts[slot] = end
+        table.caller_nexts[slot] = end_seq
         if not flow_flags & WORK_PENDING:
             self.state.start_work(slot)
         elif flow_flags & WORK_PROVISIONAL:
