--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -267,12 +267,12 @@
         return routes.addresses[server_number]
 
     def track_caller_payload(
-        self, slot: int, flags: int, seq: int, payload_length: int, flow_flags: int
+        self, slot: int, tcp_flags: int, seq: int, payload_length: int, flow_flags: int
     ) -> bool:
         """Count a caller's bytes as work; return False if they were seen before."""
         table = self.state.table
         end_seq = (seq + payload_length) & SEQUENCE_MASK
-        if flags:
+        if tcp_flags:
             progress = (end_seq - table.caller_nexts[slot]) & SEQUENCE_MASK
             if not 0 < progress < SEQUENCE_HALF:
                 return False
