Rename told to is_known_ack

It tells whether the acknowledgement is known.

Rename: libs/flows/src/kumquatmux_flows/engine.py told is_known_ack

--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -326,10 +326,10 @@
         marks = table.flow_flags[slot]
         if not marks & BACKUP_CONFIRMED and table.backup_vms[slot] != NO_VM:
             return False
-        told = (
+        is_known_ack = (
             ack == table.server_acks[slot] and not self.silence_detector.probed_servers
         )
-        if not told or marks & WORK_PENDING or table.strikes[slot]:
+        if not is_known_ack or marks & WORK_PENDING or table.strikes[slot]:
             self.silence_detector.handle_reply_ack(slot, ack, now)
         if payload_length and marks & WORK_PENDING:
             self.state.finish_work(slot)
