--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -323,14 +323,14 @@
     def track_reply(self, slot: int, ack: int, payload_length: int, now: float) -> bool:
         """Count a reply at the owner; return False if the slow path has to see it."""
         table = self.state.table
-        marks = table.flow_flags[slot]
-        if not marks & BACKUP_CONFIRMED and table.backup_vms[slot] != NO_VM:
+        flow_flags = table.flow_flags[slot]
+        if not flow_flags & BACKUP_CONFIRMED and table.backup_vms[slot] != NO_VM:
             return False
         is_known_ack = (
             ack == table.server_acks[slot] and not self.silence_detector.probed_servers
         )
-        if not is_known_ack or marks & WORK_PENDING or table.strikes[slot]:
+        if not is_known_ack or flow_flags & WORK_PENDING or table.strikes[slot]:
             self.silence_detector.handle_reply_ack(slot, ack, now)
-        if payload_length and marks & WORK_PENDING:
+        if payload_length and flow_flags & WORK_PENDING:
             self.state.finish_work(slot)
         return True
