--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -302,11 +302,11 @@
         if table.statuses[slot] < ESTABLISHED:
             return False
         routes = state.routes
-        number = table.servers[slot]
-        if routes.addresses[number] != server:
+        server_number = table.servers[slot]
+        if routes.addresses[server_number] != server:
             return False
         service = table.services[slot]
-        if routes.announced[number] != routes.service_names[service]:
+        if routes.announced[server_number] != routes.service_names[service]:
             return False
         if table.roles[slot] != OWNER:
             if not payload_length or not flags or ack != table.server_acks[slot]:
