--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -305,14 +305,14 @@
         server_number = table.servers[slot]
         if routes.addresses[server_number] != server:
             return False
-        service = table.services[slot]
-        if routes.announced[server_number] != routes.service_names[service]:
+        service_number = table.services[slot]
+        if routes.announced[server_number] != routes.service_names[service_number]:
             return False
         if table.roles[slot] != OWNER:
             if not payload_length or not flags or ack != table.server_acks[slot]:
                 return False
             table.server_nexts[slot] = (seq + payload_length) & SEQUENCE_MASK
-        elif not self.owned_services[service]:
+        elif not self.owned_services[service_number]:
             return False
         elif not self.track_reply(slot, ack, payload_length, now):
             return False
