--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -205,7 +205,7 @@
     def route_caller(
         self,
         key: bytes,
-        flags: int,
+        tcp_flags: int,
         seq: int,
         ack: int,
         payload_length: int,
@@ -215,7 +215,7 @@
         state = self.state
         table = state.table
         slot = table.slots.get(key)  # type: ignore[call-overload]
-        if slot is None or flags & SLOW_PATH_FLAGS:
+        if slot is None or tcp_flags & SLOW_PATH_FLAGS:
             return None
         if table.statuses[slot] < ESTABLISHED:
             return None
@@ -226,7 +226,7 @@
             return None
         role = table.roles[slot]
         if role != OWNER:
-            if payload_length or flags != FLAG_ACK:
+            if payload_length or tcp_flags != FLAG_ACK:
                 return None
             if now - table.reply_times[slot] > self.settings.learned_fresh_seconds:
                 return None
@@ -253,12 +253,12 @@
                 return None
         if payload_length:
             if not self.track_caller_payload(
-                slot, flags, seq, payload_length, flow_flags
+                slot, tcp_flags, seq, payload_length, flow_flags
             ):
                 return None
-        elif not flags:
+        elif not tcp_flags:
             return None
-        if flags and 0 < (ack - table.server_nexts[slot]) & SEQUENCE_MASK < (
+        if tcp_flags and 0 < (ack - table.server_nexts[slot]) & SEQUENCE_MASK < (
             SEQUENCE_HALF
         ):
             table.server_nexts[slot] = ack
