--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -286,7 +286,7 @@
     def route_reply(
         self,
         key: bytes,
-        flags: int,
+        tcp_flags: int,
         seq: int,
         ack: int,
         payload_length: int,
@@ -297,7 +297,7 @@
         state = self.state
         table = state.table
         slot = table.slots.get(key)  # type: ignore[call-overload]
-        if slot is None or flags & SLOW_PATH_FLAGS:
+        if slot is None or tcp_flags & SLOW_PATH_FLAGS:
             return False
         if table.statuses[slot] < ESTABLISHED:
             return False
@@ -309,7 +309,7 @@
         if routes.announced[server_number] != routes.service_names[service_number]:
             return False
         if table.roles[slot] != OWNER:
-            if not payload_length or not flags or ack != table.server_acks[slot]:
+            if not payload_length or not tcp_flags or ack != table.server_acks[slot]:
                 return False
             table.server_nexts[slot] = (seq + payload_length) & SEQUENCE_MASK
         elif not self.owned_services[service_number]:
