--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -136,7 +136,7 @@
         expired_numbers = [
             number
             for number, batch in self.unconfirmed_batches.items()
-            if sent.expires_at <= now
+            if batch.expires_at <= now
         ]
         for number in expired_numbers:
             del self.unconfirmed_batches[number]
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -247,7 +247,7 @@
         """Decide about a packet whose record no live VM has."""
         record_maybe_lost = packet.header.record_maybe_lost
         self.caller_handler.handle_lookup_miss(
-            packet.segment, now, suspect=record_maybe_lost
+            packet.segment, now, record_maybe_lost=record_maybe_lost
         )
 
     def handle_reply_to_owner(self, packet: PeerPacket, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -180,7 +180,9 @@
     def probe_due_flows(self, now: float) -> None:
         """Probe again, without waiting for the sweep, what has not answered."""
         table = self.state.table
-        for key in [key for key, due_time in self.probe_due_times.items() if due < now]:
+        for key in [
+            key for key, due_time in self.probe_due_times.items() if due_time < now
+        ]:
             del self.probe_due_times[key]
             slot = table.slots.get(key)
             if slot is None or table.roles[slot] != Role.OWNER:
