--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -182,7 +182,7 @@
         for action in made.handle(Tick(), now):
             if isinstance(action, SendMessage):
                 batches.append(action.message)
-                stored = BatchStored(action.message.number)
+                stored = BatchStored(action.message.batch_number)
                 made.handle(PeerMessage(action.vm, stored), now)
     sizes = [len(FLOW_MESSAGES.encode(batch)) for batch in batches]
     assert sum(sizes) <= 500 * 10 + 500
