--- a/libs/flows/src/kumquatmux_flows/refusals.py
+++ b/libs/flows/src/kumquatmux_flows/refusals.py
@@ -1,4 +1,4 @@
-"""Why a packet had no route or a flow was given up."""
+"""Reason codes for refused and dropped packets and for flows that are closed."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class Refusal(StrEnum):
-    """The reasons a caller, a log line or a counter is told."""
+    """Reason codes that appear in resets, log lines and counters."""
 
     SERVICE_UNKNOWN = "service-unknown"
     TABLE_STALE = "table-stale"
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -1,4 +1,4 @@
-"""Which service a flow is for and which servers may get its packets."""
+"""Mapping of flows to services, and of services to the servers that may get packets."""
 
 from __future__ import annotations
 
@@ -9,26 +9,28 @@
 
 
 def service_key_of(key: FlowKey) -> bytes:
-    """Return the service side of a flow key: protocol, IP and port, 7 bytes."""
+    """Return the service part of a flow key: protocol, IP and port, 7 bytes."""
     return key[0:1] + key[5:9] + key[11:13]
 
 
 class Routes:
-    """Services and servers by small numbers, so that records stay compact.
+    """Maps services and servers to small numbers to keep flow records compact.
 
-    A service number stands for a name at one address. Numbers are never given twice.
+    A service number identifies a name at one address. Numbers are never reused.
 
     Attributes:
         revision: Settings revision in force.
-        current: Service number in force at each service address.
-        names: Name of each service number.
-        places: Address of each service number, as in a flow key.
+        current_services: Number of the service in force, by service key.
+        service_names: Name of each service number.
+        service_keys: Protocol and address of each service number, as in a flow key.
         addresses: Address of each server number.
-        announced: Name each server number last announced itself for.
+        announced: Service that each server number announced last.
         in_force: Server numbers that may get new flows.
-        zones: Availability zone of each server number, empty if unknown.
-        answered: When each server number last answered a packet that this VM had
-            forwarded, in seconds.
+        server_zones: Availability zone of each server number, empty if unknown.
+        answer_times: Time in seconds at which each server number last answered a
+            packet that this VM had forwarded.
+        service_numbers: Number of each service, by name and service key.
+        server_numbers: Number of each server, by address.
     """
 
     def __init__(self) -> None:
@@ -45,7 +47,7 @@
         self.server_numbers: dict[Address, int] = {}
 
     def change(self, event: RoutesChanged) -> None:
-        """Take the services and servers of a revision."""
+        """Apply the services and servers of a settings revision."""
         self.revision = event.revision
         self.current_services = {}
         for service_route in event.services:
@@ -63,7 +65,7 @@
             self.in_force.add(server_number)
 
     def service_number(self, name: ServiceName, service_key: bytes) -> int:
-        """Return the number of a service at an address."""
+        """Return the number of a service at a service key, adding it if it is new."""
         number = self.service_numbers.get((name, service_key))
         if number is None:
             number = len(self.service_names)
@@ -73,7 +75,12 @@
         return number
 
     def server_number(self, address: Address, default_service: ServiceName) -> int:
-        """Return the number of a server, with a service assumed if it is new."""
+        """Return the number of a server, adding it if it is new.
+
+        Args:
+            address: Address of the server.
+            default_service: Service recorded as announced by a new server.
+        """
         number = self.server_numbers.get(address)
         if number is None:
             number = len(self.addresses)
@@ -95,5 +102,5 @@
         )
 
     def service_address(self, service_number: int) -> Address:
-        """Return the address callers use for a service."""
+        """Return the address at which callers reach a service."""
         return Address(self.service_keys[service_number][1:])
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -1,4 +1,4 @@
-"""Flow records in rows of one cache line, read as columns: a key finds a slot."""
+"""Table of flow records: one row of a cache line per record, accessed by columns."""
 
 from __future__ import annotations
 
@@ -17,7 +17,11 @@
 
 
 class Role(IntEnum):
-    """Why this VM holds a record."""
+    """Reason why this VM holds a record.
+
+    ``LEARNED`` records come from replies only. ``BACKUP`` records are copies of records
+    that another VM owns.
+    """
 
     FREE = 0
     LEARNED = 1
@@ -26,7 +30,7 @@
 
 
 class FlowStatus(IntEnum):
-    """How far a flow has come; the open ones are the highest."""
+    """Progress of a flow; open flows have the status ``ESTABLISHED`` or higher."""
 
     HALF_OPEN = 0
     CLOSING = 1
@@ -36,13 +40,16 @@
 
 
 class FlowFlag(IntEnum):
-    """Facts about one flow, one bit each.
-
-    ``PLACED`` tells flows placed by this VM. ``SERVER_SEEN`` says that
-    ``server_next`` holds a number seen in a packet, ``CALLER_SEEN`` the same of
-    ``caller_next``, ``CONFIRMED`` that the second copy is known to be in place. At the
-    owner ``server_next`` is what the caller acknowledged, not what the server sent: a
-    reset or probe with any other number is not taken by the caller.
+    """Flag bits of a flow.
+
+    ``WORK_PENDING``: the flow holds a slot of its server, because bytes of its caller
+    are unanswered or, with ``WORK_PROVISIONAL``, because it is new and its caller has
+    not sent any. ``CALLER_FIN`` and ``SERVER_FIN``: that end sent a FIN.
+    ``BACKUP_CONFIRMED``: the backup VM is known to hold the record. ``PLACED_HERE``:
+    this VM placed the flow. ``SERVER_NEXT_KNOWN``: ``server_nexts`` holds a number seen
+    in a packet; ``CALLER_NEXT_KNOWN``: the same of ``caller_nexts``. At the owner
+    ``server_nexts`` holds what the caller acknowledged, not what the server sent,
+    because the caller ignores resets and probes with any other number.
     """
 
     WORK_PENDING = 1
@@ -56,12 +63,16 @@
 
 
 class FlowTable:
-    """All records of one VM.
+    """All flow records of one VM.
 
     Attributes:
         slots: Slot of each key.
-        keys: Key of each slot, None where it is free.
-        counts: Records by role.
+        keys: Key of each slot, None for a free slot.
+        free_slots: Free slots.
+        role_counts: Number of records by role.
+        epochs: Epoch of each slot.
+        strike_times: Time in seconds at which each slot last counted an unanswered
+            packet or, for a closed flow, at which it was closed.
     """
 
     def __init__(self) -> None:
@@ -74,7 +85,7 @@
         self.map_columns(bytearray())
 
     def map_columns(self, rows: bytearray) -> None:
-        """Lay the columns over rows: one cache line holds what a packet needs."""
+        """Map the columns onto rows; one cache line holds all that a packet needs."""
         self.rows = rows
         uint8s = memoryview(rows)
         uint32s = uint8s.cast("I")
@@ -99,13 +110,13 @@
 
     @property
     def retained_count(self) -> int:
-        """Records held as owner or second copy."""
+        """Number of records held as owner or backup."""
         return self.role_counts[Role.OWNER] + self.role_counts[Role.BACKUP]
 
     def add(
         self, key: FlowKey, role: Role, server_number: int, service_number: int
     ) -> int:
-        """Return the slot of a new record for a key that has none."""
+        """Add a record for a key that has none and return its slot."""
         if not self.free_slots:
             self.grow()
         slot = self.free_slots.pop()
@@ -119,7 +130,7 @@
         return slot
 
     def reset_progress(self, slot: int) -> None:
-        """Set the progress of a slot back to that of a new flow."""
+        """Reset the tracked progress of a slot to that of a new flow."""
         self.statuses[slot] = FlowStatus.HALF_OPEN
         self.flow_flags[slot] = 0
         self.strikes[slot] = 0
@@ -137,7 +148,11 @@
         self.strike_times[slot] = 0.0
 
     def remove(self, slot: int) -> None:
-        """Free a slot."""
+        """Remove the record of a slot and free the slot.
+
+        Raises:
+            ValueError: The slot is already free.
+        """
         key = self.keys[slot]
         if key is None:
             raise ValueError(f"slot {slot} is free already")
@@ -148,13 +163,13 @@
         self.free_slots.append(slot)
 
     def set_role(self, slot: int, role: Role) -> None:
-        """Change why a record is held."""
+        """Change the role of a record."""
         self.role_counts[self.roles[slot]] -= 1
         self.role_counts[role] += 1
         self.roles[slot] = role
 
     def grow(self) -> None:
-        """Add free slots, an eighth of the table at least."""
+        """Add free slots, at least an eighth of the table."""
         slot_count = len(self.keys)
         added_slots = max(MIN_GROWTH_SLOTS, slot_count // 8)
         self.keys.extend([None] * added_slots)
@@ -165,7 +180,7 @@
 
 
 def next_seq(segment: Segment) -> int:
-    """Return the sequence number after a segment."""
+    """Return the sequence number that follows a segment."""
     length = segment.payload_length
     length += 1 if segment.flags & FLAG_SYN else 0
     length += 1 if segment.flags & FLAG_FIN else 0
@@ -173,10 +188,10 @@
 
 
 def seq_after(left: int, right: int) -> bool:
-    """Return whether one TCP sequence number is later than another."""
+    """Return whether TCP sequence number ``left`` is later than ``right``."""
     return 0 < (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
 
 
 def seq_at_or_after(left: int, right: int) -> bool:
-    """Return whether one TCP sequence number is another or later."""
+    """Return whether TCP sequence number ``left`` is ``right`` or later."""
     return (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
