--- a/libs/flows/src/kumquatmux_flows/__init__.py
+++ b/libs/flows/src/kumquatmux_flows/__init__.py
@@ -1,4 +1,4 @@
-"""Flow ownership, records, recovery and expiry, free of I/O."""
+"""Implement flow ownership, flow records, recovery and expiry without I/O."""
 
 from __future__ import annotations
 
--- a/libs/flows/src/kumquatmux_flows/events.py
+++ b/libs/flows/src/kumquatmux_flows/events.py
@@ -1,4 +1,4 @@
-"""What the flow engine is told and what it asks for."""
+"""Events that the flow engine handles and actions that it returns."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class Stage(IntEnum):
-    """Why one VM passes a packet to another."""
+    """Purpose for which one VM sends a packet to another."""
 
     TO_OWNER = 1
     STORE = 2
@@ -24,15 +24,15 @@
 
 
 class Binding(NamedTuple):
-    """The backend server a flow belongs to.
+    """The backend server that a flow is bound to.
 
     Attributes:
         server: Address of the backend server.
         revision: Settings revision in force when the flow was placed.
-        epoch: Grows each time the key is placed anew; the higher binding wins.
-        established: Whether the sender saw the handshake finished.
-        service: The service it was placed for, which the rules in force may have
-            dropped since; empty if the key's service in force is meant.
+        epoch: Number of times that the key has been placed; the higher one wins.
+        established: Whether the sender saw the handshake finish.
+        service: Service that the flow was placed for, which may no longer be in force;
+            empty for the service now in force at the key's address.
     """
 
     server: Address
@@ -43,15 +43,15 @@
 
 
 class Passing(NamedTuple):
-    """What travels with a packet from one VM to another.
+    """Header that accompanies a packet from one VM to another.
 
     Attributes:
-        stage: Why the packet is passed.
-        hops: How many VMs have passed it on before.
-        binding: The record that goes with it, if the stage has one.
-        origin: For ``LOOKUP``, the VM that wants the answer.
-        suspect: For ``LOOKUP`` and ``MISS``, whether a VM on the way lately lost
-            another one, which may have had the record.
+        stage: Purpose of sending the packet.
+        hops: Number of VMs that have forwarded the packet before.
+        binding: Binding of the flow, if the purpose needs one.
+        origin: For ``LOOKUP``, the VM that started the lookup.
+        suspect: For ``LOOKUP`` and ``MISS``, whether a visited VM recently lost another
+            VM, which may have held the record.
     """
 
     stage: Stage
@@ -62,23 +62,26 @@
 
 
 class CallerPacket(NamedTuple):
-    """A packet from a caller, straight from the fabric."""
+    """A packet from a caller, received directly from the network fabric."""
 
     segment: Segment
 
 
 class ServerPacket(NamedTuple):
-    """A packet from a backend server, its key already seen from the caller's side."""
+    """A packet from a backend server, received directly from the network fabric.
+
+    The key of its segment is already the one of the caller's direction.
+    """
 
     segment: Segment
     server: Address
 
 
 class PeerPacket(NamedTuple):
-    """A packet another VM passed on.
+    """A packet that another VM sent on.
 
-    For ``REPLY_TO_OWNER`` and ``REPLY_CLOSE`` the segment is a server's and the binding
-    names the server.
+    For ``REPLY_TO_OWNER`` and ``REPLY_CLOSE`` the segment comes from a server, and
+    the binding names this server.
     """
 
     sender: VmId
@@ -94,11 +97,11 @@
 
 
 class ViewChanged(NamedTuple):
-    """The entry VMs this one can reach, itself included.
+    """The entry VMs that this VM can reach, including itself.
 
     Attributes:
-        live: The VMs packets may be passed to.
-        lost: VMs that went without a handover since the last view.
+        live: VMs that packets may be sent to.
+        lost: VMs that left without a handover since the last view.
     """
 
     live: tuple[Vm, ...]
@@ -109,8 +112,8 @@
     """One service in force.
 
     Attributes:
-        service: Its name.
-        address: The address callers use.
+        service: Name of the service.
+        address: Address at which callers reach the service.
         protocol: IP protocol number.
     """
 
@@ -120,12 +123,13 @@
 
 
 class ServerRoute(NamedTuple):
-    """One backend server and the one service it may get packets of.
+    """One backend server and the only service whose packets it may get.
 
     Attributes:
-        server: Its address.
-        service: The service it serves.
-        zone: Its availability zone; one VM of it keeps a record of each flow there.
+        server: Address of the server.
+        service: Service that the server runs.
+        zone: Availability zone of the server, empty if unknown; a VM of this zone holds
+            a record of each of the server's flows.
     """
 
     server: Address
@@ -156,11 +160,11 @@
 
 
 class Tick(NamedTuple):
-    """Time has passed; due work is done."""
+    """Time has passed, and the engine does the work that is due."""
 
 
 class Leaving(NamedTuple):
-    """This VM begins a graceful shutdown."""
+    """This VM starts a graceful shutdown."""
 
 
 Event = (
@@ -192,7 +196,7 @@
 
 
 class SendToPeer(NamedTuple):
-    """Pass a packet to another VM."""
+    """Send a packet to another VM."""
 
     vm: VmId
     passing: Passing
@@ -207,23 +211,23 @@
 
 
 class AskPlacement(NamedTuple):
-    """Ask for a server; ``FlowPlaced`` or ``FlowRefused`` follows."""
+    """Request a server for a flow; ``FlowPlaced`` or ``FlowRefused`` follows."""
 
     key: FlowKey
     service: ServiceName
 
 
 class CancelPlacement(NamedTuple):
-    """Withdraw a request for a server: the flow is not wanted here any more."""
+    """Withdraw a placement request, because this VM no longer needs a server."""
 
     key: FlowKey
 
 
 class ResetCaller(NamedTuple):
-    """Tell the caller its flow is gone: TCP reset, or ICMP port unreachable for UDP.
+    """Tell a caller that its flow is closed: TCP RST, or ICMP port unreachable for UDP.
 
-    The reset takes its sequence number from the segment's acknowledgement number. The
-    segment's packet is empty when no packet of the caller was the cause (TCP only).
+    The RST takes its sequence number from the segment's acknowledgement number. The
+    segment's packet is empty if no packet of the caller caused the reset (TCP only).
     """
 
     segment: Segment
@@ -231,7 +235,7 @@
 
 
 class ResetServer(NamedTuple):
-    """Tell the server a flow is gone, by a TCP reset with this sequence number."""
+    """Tell a server by a TCP RST with this sequence number that a flow is closed."""
 
     key: FlowKey
     server: Address
@@ -239,7 +243,7 @@
 
 
 class ProbeServer(NamedTuple):
-    """Send a TCP keepalive probe to the server in the caller's name."""
+    """Send a TCP keepalive probe to a server from the caller's address."""
 
     key: FlowKey
     server: Address
@@ -248,7 +252,7 @@
 
 
 class ProbeCaller(NamedTuple):
-    """Send a TCP keepalive probe to the caller in the service's name."""
+    """Send a TCP keepalive probe to a caller from the service address."""
 
     key: FlowKey
     seq: int
@@ -256,28 +260,28 @@
 
 
 class WorkStarted(NamedTuple):
-    """A flow has unanswered bytes of its caller: it takes a slot."""
+    """A flow takes a slot of its server for bytes that the server has to answer."""
 
     key: FlowKey
     server: Address
 
 
 class WorkAnswered(NamedTuple):
-    """The server began to answer: the slot is free again."""
+    """A flow frees its slot of the server, which has begun to answer."""
 
     key: FlowKey
     server: Address
 
 
 class FlowClosed(NamedTuple):
-    """A flow is over or was given up."""
+    """A flow of this VM ended, was given up or moved to another owner."""
 
     key: FlowKey
     server: Address
 
 
 class FlowAdopted(NamedTuple):
-    """A flow placed by another VM is now counted here."""
+    """This VM takes ownership of a flow and counts it from now on."""
 
     key: FlowKey
     server: Address
@@ -285,12 +289,12 @@
 
 
 class RefreshRoute(NamedTuple):
-    """A route failed: whoever gave it should get a fresh one now.
+    """A route failed and must be refreshed now by the component that supplied it.
 
     Attributes:
-        reason: What was found wrong with it.
-        service: The service it was for, empty if unknown.
-        server: The backend server it named, if it named one.
+        reason: Reason for the failure.
+        service: Service of the route, empty if unknown.
+        server: Backend server of the route, None if it has none.
     """
 
     reason: Refusal
@@ -299,11 +303,11 @@
 
 
 class Quiet(NamedTuple):
-    """A leaving VM has handed everything over and sees no more packets."""
+    """This VM, which shuts down, has handed over all flows and gets no more packets."""
 
 
 class Dropped(NamedTuple):
-    """A packet went nowhere, for a reason that is counted."""
+    """A packet was dropped for a reason that is counted."""
 
     reason: str
 
--- a/libs/flows/src/kumquatmux_flows/messages.py
+++ b/libs/flows/src/kumquatmux_flows/messages.py
@@ -1,4 +1,4 @@
-"""Messages between flow engines that travel without a packet, in paced batches."""
+"""Messages that flow engines exchange without a packet, in rate-limited batches."""
 
 from __future__ import annotations
 
@@ -9,18 +9,18 @@
 
 
 class FlowRecord(NamedTuple):
-    """One flow as its keeper tells another VM.
+    """A flow record as one VM sends it to another.
 
     Attributes:
-        key: The flow.
-        server: Its backend server.
-        service: The service it was placed for.
-        revision: Settings revision in force when it was placed.
-        epoch: How often its key has been placed.
-        status: A ``FlowStatus`` as a number.
-        idle: Seconds since its last packet at the sender.
-        server_ack: What the server last acknowledged, 0 if unknown.
-        caller_ack: What the caller last acknowledged, 0 if unknown.
+        key: Key of the flow.
+        server: Address of its backend server.
+        service: Name of the service that the flow was placed for.
+        revision: Settings revision in force when the flow was placed.
+        epoch: Number of times that the key has been placed.
+        status: Value of the ``FlowStatus`` of the flow.
+        idle_seconds: Seconds since the last packet of the flow at the sender.
+        server_ack: Last acknowledgement number of the server, 0 if unknown.
+        caller_ack: Last acknowledgement number of the caller, 0 if unknown.
     """
 
     key: FlowKey
@@ -35,25 +35,36 @@
 
 
 class RecordBatch(NamedTuple):
-    """Records for the receiver to keep, confirmed by ``BatchStored``."""
+    """Records for the receiver to store; it confirms them with ``BatchStored``.
+
+    Attributes:
+        batch_number: Number of the batch at its sender.
+        records: Records of the batch.
+    """
 
     batch_number: int
     records: tuple[FlowRecord, ...]
 
 
 class BatchStored(NamedTuple):
-    """A batch is kept; records the receiver knows better come back."""
+    """The confirmation that the records of a batch are stored.
+
+    Attributes:
+        batch_number: Number of the batch at its sender.
+        preferred_records: Records of the confirming VM that win over records of the
+            batch and that the sender of the batch must store instead.
+    """
 
     batch_number: int
     preferred_records: tuple[FlowRecord, ...] = ()
 
 
 class LostRecord(NamedTuple):
-    """A record lost against another of its key; its second copy is to go.
+    """A request to remove the backup copy of a record that lost a conflict.
 
     Attributes:
-        key: The flow.
-        server: The backend server it is not bound to any more.
+        key: Key of the flow.
+        server: Address of the backend server that the flow is no longer bound to.
     """
 
     key: FlowKey
@@ -67,6 +78,6 @@
     0x0102: BatchStored,
     0x0103: LostRecord,
 }
-"""Message types by kind, to be merged into the registry of a channel."""
+"""Message types by kind number; a channel merges them into its registry."""
 
 FLOW_MESSAGES = registry(MESSAGE_TYPES)
--- a/libs/flows/src/kumquatmux_flows/settings.py
+++ b/libs/flows/src/kumquatmux_flows/settings.py
@@ -1,4 +1,4 @@
-"""How the flow engine is tuned."""
+"""Settings of the flow engine."""
 
 from __future__ import annotations
 
@@ -6,40 +6,47 @@
 
 
 class FlowSettings(NamedTuple):
-    """Times in seconds, limits in flows, budgets in bytes per second.
+    """Time limits in seconds, limits in flows, budgets in bytes per second.
 
     Attributes:
-        flow_limit: Flows kept as owner or second copy before new ones are refused.
-        learned_limit: Flows a VM keeps that it only learned from replies.
-        learned_fresh_seconds: How long after a reply a learned record may forward.
-        quarantine_seconds: How long a closed key stays with its server.
-        half_open_seconds: Idle time after which an unfinished handshake is dropped.
-        established_seconds: Idle time after which an open TCP flow is dropped.
-        closing_seconds: Idle time after which a half-closed TCP flow is dropped.
-        datagram_seconds: Idle time after which a UDP flow is dropped.
-        copy_refresh_seconds: Age at which a second copy is refreshed by a packet.
-        settle_seconds: How long after a view change an unknown flow is not reset.
-        cut_hold_seconds: How long after a loss an unknown flow is not reset, because
-            a cut may hide its record and a reply may still show its server.
-        opening_grace_seconds: How long a new flow holds a slot without caller bytes.
-        held_datagrams: UDP datagrams of one flow held while it is being placed.
-        pending_limit: Flows held while they are being placed.
-        placement_attempts: How often a flow is offered for placement.
-        lookup_hops: VMs a mid-flow packet may visit in search of its record.
-        hop_limit: VMs a packet may pass on its way to the owner.
-        sweep_seconds: Time of one pass over the whole table.
-        sweep_slots: Most table slots looked at in one tick.
-        repair_bytes_per_second: Budget of second-copy batches.
-        batch_records: Most records in one batch.
-        batch_timeout_seconds: Time after which an unconfirmed batch is sent again.
+        flow_limit: Records held as owner or backup before new flows are refused.
+        learned_limit: Records that a VM holds only because of replies.
+        learned_fresh_seconds: Age of the last reply up to which a learned
+            record forwards packets.
+        quarantine_seconds: How long a closed flow's key stays bound to its server.
+        half_open_seconds: Idle time after which an unfinished handshake is removed.
+        established_seconds: Idle time after which an open TCP flow is removed.
+        closing_seconds: Idle time after which a half-closed TCP flow is removed.
+        datagram_seconds: Idle time after which a UDP flow is removed.
+        copy_refresh_seconds: Age at which a packet refreshes the backup copy.
+        view_settle_seconds: Time after a change of the membership view in which
+            packets of unknown flows are dropped instead of reset.
+        partition_hold_seconds: Time after the loss of a VM in which packets of unknown
+            flows are dropped instead of reset: a network partition may hide the
+            record, and a reply may still show the flow's server.
+        provisional_slot_seconds: How long a new flow holds a server slot before its
+            caller has sent any bytes.
+        held_datagram_limit: UDP datagrams held for one flow during its placement.
+        pending_flow_limit: Flows held during their placement.
+        placement_attempts: Placement requests for one flow.
+        lookup_hop_limit: VMs that the lookup of a record visits.
+        owner_hop_limit: VMs that may forward a packet on its way to the owner.
+        sweep_seconds: Time in which the sweep visits the whole table once.
+        sweep_slots_per_tick: Table slots that the sweep visits in one tick at most.
+        repair_bytes_per_second: Budget for sending record batches.
+        batch_record_limit: Records in one batch.
+        batch_timeout_seconds: Time after which an unconfirmed batch is given up; the
+            sweep then sends its records again.
         probe_idle_seconds: Idle time after which both ends of a flow are probed.
         probe_interval_seconds: Time between unanswered probes of one flow.
-        probe_limit: Unanswered probes after which a flow is silent.
-        probes_per_second: Flows probed in a second at most.
-        silent_retransmits: Retransmissions without progress that make a flow silent.
-        silent_seconds: Time these retransmissions span at least.
-        quiet_seconds: Time without packets after which a leaving VM is quiet.
-        refresh_on_failure: Whether a failed route asks for a fresh one at once.
+        probe_limit: Unanswered probes after which a flow counts as silent.
+        probes_per_second: Flows probed per second at most.
+        silent_retransmit_limit: Retransmissions without progress after which a flow
+            counts as silent.
+        silent_seconds: Least time over which these retransmissions are counted.
+        quiet_seconds: Time without packets after which a VM that shuts down
+            reports that its handover is complete.
+        refresh_on_failure: Whether a failed route is refreshed at once.
     """
 
     flow_limit: int = 400_000
