--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -1,4 +1,4 @@
-"""Records that come with packets, and which of two is kept."""
+"""Bindings that arrive with packets, and the resolution of conflicts between them."""
 
 from __future__ import annotations
 
@@ -13,10 +13,10 @@
 
 
 class BindingStore:
-    """Stores what other VMs know of a flow.
+    """Stores bindings that other VMs send.
 
-    A higher epoch wins, then a finished handshake, then the lower server address: the
-    same on every VM.
+    Of two bindings, the one with the higher epoch wins, then the one with a finished
+    handshake, then the one with the lower server address: the same on every VM.
     """
 
     def __init__(
@@ -29,10 +29,10 @@
     def store_binding(
         self, binding: Binding, segment: Segment, role: Role, now: float
     ) -> int | None:
-        """Store a record that came with a packet, unless the one here is better.
+        """Store the binding of a packet unless the record here wins over it.
 
         Returns:
-            The slot of the record, None when no service is known for it.
+            The slot of the record, None if the service of the binding is unknown.
         """
         state = self.state
         table = state.table
@@ -50,7 +50,7 @@
         return self.add_record(binding, segment, role, now)
 
     def merge_binding(self, slot: int, binding: Binding) -> None:
-        """Take over what a binding knows more about the same server."""
+        """Update a record from a binding to the same server."""
         table = self.state.table
         if binding.epoch > table.epochs[slot]:
             table.epochs[slot] = binding.epoch
@@ -60,7 +60,7 @@
             table.statuses[slot] = FlowStatus.ESTABLISHED
 
     def reopen_record(self, slot: int) -> None:
-        """Start over with a new flow of the same key on the same server."""
+        """Reset a record for a new flow of the same key on the same server."""
         table = self.state.table
         epoch = table.epochs[slot]
         table.reset_progress(slot)
@@ -87,7 +87,7 @@
         return binding.server < self.state.server_address_of(slot)
 
     def handshake_answered(self, slot: int) -> bool:
-        """Return whether the caller may have this server's half of a handshake."""
+        """Return whether the caller may have received this server's SYN-ACK."""
         table = self.state.table
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
@@ -95,7 +95,7 @@
         return bool(reply_seen) and table.roles[slot] == Role.OWNER
 
     def discard_record(self, slot: int, segment: Segment, now: float) -> None:
-        """Drop the record that lost, and reset its server's half of the handshake."""
+        """Remove the losing record and reset the flow at its server."""
         state = self.state
         key = state.table.keys[slot]
         was_open = state.table.statuses[slot] != FlowStatus.CLOSED
@@ -111,7 +111,7 @@
         state.remove_flow(slot, Refusal.CONFLICT, now)
 
     def drop_backup_copy(self, slot: int) -> None:
-        """Tell the holder of the second copy that the record has lost."""
+        """Tell the backup VM of a record that the record has lost."""
         state = self.state
         key = state.table.keys[slot]
         backup_vm = self.backup_copies.backup_vm_of(slot)
@@ -123,7 +123,11 @@
     def add_record(
         self, binding: Binding, segment: Segment, role: Role, now: float
     ) -> int | None:
-        """Store a record that came with a packet."""
+        """Add the record of a binding that arrived with a packet.
+
+        Returns:
+            The slot of the record, None if the service of the binding is unknown.
+        """
         state = self.state
         service_number = state.named_service_of(segment.key, binding.service)
         if service_number is None:
--- a/libs/flows/src/kumquatmux_flows/copies.py
+++ b/libs/flows/src/kumquatmux_flows/copies.py
@@ -1,4 +1,4 @@
-"""Second copies: where they belong and how packets bring them there."""
+"""Backup copies of flow records, and the packets that carry them to the backup VM."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
 
 
 class Copies:
-    """Keeps the record of each owned flow on its backup."""
+    """Keeps the record of each owned flow on its backup VM."""
 
     def __init__(self, state: FlowState) -> None:
         self.state = state
 
     def backup_is_current(self, slot: int, now: float) -> bool:
-        """Return whether the second copy is in place and recent."""
+        """Return whether the backup VM holds a confirmed, recent copy of a record."""
         table = self.state.table
         backup_number = self.backup_vm_number(slot)
         if backup_number == NO_VM:
@@ -36,18 +36,18 @@
         return age < self.state.settings.copy_refresh_seconds
 
     def backup_vm_of(self, slot: int) -> VmId | None:
-        """Return the VM that should hold the second copy."""
+        """Return the VM that should hold the backup copy, None if there is none."""
         routes = self.state.routes
         service_key = routes.service_keys[self.state.table.services[slot]]
         server_zone = routes.server_zones[self.state.table.servers[slot]]
         return self.state.ranking.backup(service_key, server_zone)
 
     def backup_vm_number(self, slot: int) -> int:
-        """Return the small number of the VM that should hold the second copy."""
+        """Return the number of the VM that should hold the backup copy."""
         return self.state.ranking.vm_number(self.backup_vm_of(slot))
 
     def by_backup(self, slot: int, segment: Segment, now: float) -> None:
-        """Pass a packet and its record to the backup, which forwards it."""
+        """Send a packet and its record to the backup VM, which forwards the packet."""
         state = self.state
         backup_vm = self.backup_vm_of(slot)
         if backup_vm is None:
@@ -58,7 +58,14 @@
         state.out.append(SendToPeer(backup_vm, header, segment.packet))
 
     def record_backup_sent(self, slot: int, seq: int, now: float) -> None:
-        """Remember that the backup was sent the record with a packet."""
+        """Record that the backup VM was sent the record with a packet.
+
+        Args:
+            slot: Table slot of the flow.
+            seq: Sequence number after the packet; when the server acknowledges it, the
+                backup VM has forwarded the packet and so holds the record.
+            now: Time in seconds.
+        """
         table = self.state.table
         backup_number = self.backup_vm_number(slot)
         if table.backup_vms[slot] != backup_number:
@@ -69,7 +76,7 @@
         table.backup_times[slot] = now
 
     def confirm_backup(self, slot: int, ack: int) -> None:
-        """Note that a reply proves that the backup forwarded a packet."""
+        """Mark the backup copy as confirmed if a reply proves that it was stored."""
         table = self.state.table
         flow_flags = table.flow_flags[slot]
         if flow_flags & FlowFlag.BACKUP_CONFIRMED or table.backup_vms[slot] == NO_VM:
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -1,4 +1,4 @@
-"""Whether a packet's numbers fit the record of its flow."""
+"""Validation of acknowledgement numbers against flow records."""
 
 from __future__ import annotations
 
@@ -11,13 +11,13 @@
 
 
 class AckValidator:
-    """Compares acknowledgements with what a server is known to have sent."""
+    """Compares acknowledgement numbers with what the server of a record sent."""
 
     def __init__(self, state: FlowState) -> None:
         self.state = state
 
     def indicates_other_server(self, slot: int, segment: Segment) -> bool:
-        """Return whether a packet shows that its handshake was with another server."""
+        """Return whether a packet belongs to a handshake with another server."""
         table = self.state.table
         if segment.flags & (FLAG_SYN | FLAG_RST) or not segment.flags & FLAG_ACK:
             return False
@@ -37,12 +37,19 @@
         return bool(table.flow_flags[slot] & FlowFlag.PLACED_HERE)
 
     def ack_outside_window(self, slot: int, segment: Segment, window: int) -> bool:
-        """Return whether an acknowledgement does not fit what a server has sent."""
+        """Return whether an acknowledgement number is too far from the server's.
+
+        Args:
+            slot: Table slot of the flow.
+            segment: Packet with the acknowledgement number.
+            window: Largest allowed distance in bytes from the next sequence number that
+                the record expects of the server.
+        """
         distance = (segment.ack - self.state.table.server_nexts[slot]) & SEQUENCE_MASK
         return min(distance, SEQUENCE_MASK - distance) > window
 
     def fits_learned_record(self, slot: int, segment: Segment, now: float) -> bool:
-        """Return whether a packet fits a record only learned from replies."""
+        """Return whether a packet fits a record that was only learned from replies."""
         table = self.state.table
         if not self.state.server_permitted(slot) or segment.opens:
             return False
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -1,4 +1,4 @@
-"""New flows: held once while a server is chosen, then bound or refused."""
+"""Placement of new flows, whose packets are held until a server is chosen."""
 
 from __future__ import annotations
 
@@ -18,13 +18,13 @@
 
 
 class Placing:
-    """Asks for servers; nothing of a held flow has been forwarded."""
+    """Requests servers for new flows; no packet of a held flow is forwarded."""
 
     def __init__(self, state: FlowState) -> None:
         self.state = state
 
     def handle_pending_packet(self, segment: Segment) -> None:
-        """Handle a further packet of a flow that waits for placement."""
+        """Handle another packet of a flow that waits for placement."""
         state = self.state
         pending = state.pending[segment.key]
         if segment.flags & FLAG_RST:
@@ -39,7 +39,7 @@
             state.drop_packet(Refusal.HELD_FULL)
 
     def request_placement(self, segment: Segment, epoch: int) -> None:
-        """Hold the first packet of a flow and ask for a server."""
+        """Hold the first packet of a flow and request a server for it."""
         state = self.state
         service_number = state.current_service_of(segment.key)
         if service_number is None:
@@ -55,7 +55,7 @@
             )
 
     def refuse_unknown_service(self, segment: Segment) -> None:
-        """Refuse a packet for a service address that is not in force here."""
+        """Refuse a packet to a service address that is not in force on this VM."""
         state = self.state
         if state.routes.revision < 0:
             state.drop_packet(Refusal.TABLE_STALE)
@@ -63,7 +63,10 @@
         state.refuse_flow(segment, Refusal.SERVICE_UNKNOWN)
 
     def retry_placement(self, event: FlowPlaced, pending: PendingFlow) -> None:
-        """Ask again when the chosen server may not get the flow; nothing was sent."""
+        """Request another server if the chosen one may not get the flow.
+
+        After the last attempt the held packets are refused. None of them was forwarded.
+        """
         state = self.state
         service_name = state.routes.service_names[pending.service]
         state.out.append(FlowClosed(event.key, event.server))
@@ -77,7 +80,7 @@
             state.refuse_flow(segment, Refusal.SERVER_GONE)
 
     def refused(self, event: FlowRefused) -> None:
-        """Tell the caller that placement has no server for its flow."""
+        """Reset the caller of a flow whose placement was refused."""
         pending = self.state.pending.pop(event.key, None)
         if pending is None:
             return
@@ -88,7 +91,7 @@
     def add_placed_record(
         self, key: FlowKey, server_number: int, pending: PendingFlow
     ) -> int:
-        """Return the slot of a flow that this VM placed."""
+        """Add the record of a flow that this VM placed and return its slot."""
         state = self.state
         table = state.table
         old_slot = table.slots.get(key)
@@ -103,7 +106,7 @@
         return slot
 
     def bind_flow(self, event: FlowPlaced, now: float) -> list[Segment]:
-        """Bind a flow to the server placement chose.
+        """Bind a flow to the server that placement chose.
 
         Returns:
             The held packets to forward, none if the flow is not bound.
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -1,4 +1,4 @@
-"""What the parts of the flow engine share: records, routes, ranking, actions."""
+"""State and basic operations that all parts of the flow engine share."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 class FlowLabel(NamedTuple):
-    """A flow key that is put into words only when a log line needs it."""
+    """A flow key that is formatted only when a log line is written."""
 
     key: FlowKey
 
@@ -47,12 +47,12 @@
 
 
 class ProvisionalSlot(NamedTuple):
-    """When the provisional slot of a new flow is given back.
+    """A server slot that a new flow holds before its caller has sent any bytes.
 
     Attributes:
-        until: Time in seconds.
-        key: The flow.
-        epoch: Its epoch, so that a later flow of the key keeps its slot.
+        expires_at: Time in seconds at which the slot is freed.
+        key: Key of the flow.
+        epoch: Epoch of the flow, so that a later flow of the key keeps its slot.
     """
 
     expires_at: float
@@ -64,10 +64,10 @@
     """A flow that waits for placement.
 
     Attributes:
-        segments: Its first packet, and for UDP the following ones.
-        service: Its service number.
-        epoch: The epoch it will get.
-        attempts: How often it was offered.
+        segments: The first packet and, for UDP, the following ones.
+        service: Service number of the flow.
+        epoch: Epoch that the flow will get.
+        attempts: Number of placement requests.
     """
 
     segments: list[Segment]
@@ -77,13 +77,16 @@
 
 
 class FlowState:
-    """The state of one engine and the small steps every part of it takes.
+    """State of one flow engine and operations that its parts share.
 
     Attributes:
-        out: Actions of the event in hand, with those the fast path left.
+        out: Actions of the current event and those that the fast path left.
         pending: Flows that wait for placement.
-        missed: When a search for an open flow's record first failed, in seconds.
-        graces: Provisional slots, the earliest to end first.
+        provisional_slots: Provisional server slots, the earliest to expire first.
+        first_miss_times: Time in seconds of the first failed lookup of an open flow.
+        learned_keys: Keys of learned records, the oldest first.
+        probe_budget: Number of flows that may be probed now.
+        last_packet_time: Time in seconds of the last packet.
     """
 
     def __init__(self, vm: VmId, settings: FlowSettings, random: random.Random) -> None:
@@ -102,11 +105,15 @@
         self.last_packet_time = float("-inf")
 
     def current_service_of(self, key: FlowKey) -> int | None:
-        """Return the number of the service in force at a flow's service address."""
+        """Return the number of the service in force for a flow key, None if unknown."""
         return self.routes.current_services.get(service_key_of(key))
 
     def named_service_of(self, key: FlowKey, name: ServiceName) -> int | None:
-        """Return the number of the service a binding names, in force or not."""
+        """Return the number of the service that a binding names, in force or not.
+
+        An empty name stands for the service in force, and None is returned if there is
+        none.
+        """
         if not name:
             return self.current_service_of(key)
         return self.routes.service_number(name, service_key_of(key))
@@ -120,7 +127,7 @@
         return self.routes.addresses[self.table.servers[slot]]
 
     def binding_of(self, slot: int) -> Binding:
-        """Return a record as it travels with a packet."""
+        """Return the binding of a record, to be sent with a packet."""
         table = self.table
         established = table.statuses[slot] != FlowStatus.HALF_OPEN
         return Binding(
@@ -132,35 +139,39 @@
         )
 
     def server_permitted(self, slot: int) -> bool:
-        """Return whether the server of a record may get its packets."""
+        """Return whether the server of a record may get the flow's packets."""
         return self.routes.permits(self.table.servers[slot], self.table.services[slot])
 
     def to_server(self, slot: int, segment: Segment) -> None:
-        """Forward a packet to the server of a record, after the last rule check."""
+        """Forward a packet to the server of a record after a last check.
+
+        Raises:
+            ValueError: The server may not get packets of the flow's service.
+        """
         if not self.server_permitted(slot):
             raise ValueError("a packet was about to reach another service's server")
         self.out.append(SendToServer(self.server_address_of(slot), segment.packet))
 
     def drop_packet(self, reason: Refusal) -> None:
-        """Count a packet that goes nowhere."""
+        """Drop a packet and count the reason."""
         self.out.append(Dropped(reason))
 
     def refuse_flow(
         self, segment: Segment, reason: Refusal, server: str = "none"
     ) -> None:
-        """Tell a caller that its flow has no route."""
+        """Reset the caller of a flow that has no route and log the refusal."""
         self.out.append(ResetCaller(segment, reason))
         self.log_decision("flow-refused", segment.key, server, reason)
 
     def request_route_refresh(
         self, reason: Refusal, service: ServiceName, server: Address | None
     ) -> None:
-        """Ask for a fresh route after a failure."""
+        """Request a refresh of a route that failed, if the settings allow it."""
         if self.settings.refresh_on_failure:
             self.out.append(RefreshRoute(reason, service, server))
 
     def start_work(self, slot: int) -> None:
-        """Take a slot of the server, unless the flow holds one."""
+        """Take a slot of the server unless the flow holds one."""
         key = self.table.keys[slot]
         if key is None or self.table.flow_flags[slot] & FlowFlag.WORK_PENDING:
             return
@@ -168,7 +179,7 @@
         self.out.append(WorkStarted(key, self.server_address_of(slot)))
 
     def finish_work(self, slot: int) -> None:
-        """Give the slot back, if the flow holds one."""
+        """Free the slot of the server if the flow holds one."""
         key = self.table.keys[slot]
         if key is None or not self.table.flow_flags[slot] & FlowFlag.WORK_PENDING:
             return
@@ -178,7 +189,7 @@
         self.out.append(WorkAnswered(key, self.server_address_of(slot)))
 
     def take_ownership(self, slot: int, reason: str) -> None:
-        """Become the owner of a record placed elsewhere."""
+        """Become the owner of a record that another VM owned."""
         key = self.table.keys[slot]
         if key is None or self.table.roles[slot] == Role.OWNER:
             return
@@ -197,7 +208,7 @@
         self.log_record("flow-adopted", slot, reason)
 
     def release_ownership(self, slot: int, role: Role, reason: str) -> None:
-        """Stop being the owner of a record and keep it for another reason."""
+        """Stop owning a record and hold it in another role."""
         key = self.table.keys[slot]
         if key is None or self.table.roles[slot] != Role.OWNER:
             return
@@ -210,7 +221,7 @@
         self.log_record("flow-handed-over", slot, reason)
 
     def close_flow(self, slot: int, reason: str, now: float) -> None:
-        """Mark a flow as over; its key stays with its server for the quarantine."""
+        """Close a flow, whose key stays bound to its server during the quarantine."""
         key = self.table.keys[slot]
         if key is None or self.table.statuses[slot] == FlowStatus.CLOSED:
             return
@@ -224,16 +235,16 @@
         self.table.strike_times[slot] = now
 
     def remove_flow(self, slot: int, reason: str, now: float) -> None:
-        """Drop a record without quarantine."""
+        """Close a flow and remove its record without quarantine."""
         self.close_flow(slot, reason, now)
         self.table.remove(slot)
 
     def is_quarantined(self, slot: int, now: float) -> bool:
-        """Return whether a closed key still belongs to its last flow."""
+        """Return whether the key of a closed flow is still in quarantine."""
         return now - self.table.strike_times[slot] < self.settings.quarantine_seconds
 
     def idle_seconds(self, slot: int, now: float) -> float:
-        """Return the seconds since a sign of life of a flow."""
+        """Return the seconds since a flow was last active."""
         table = self.table
         last_active_time = max(table.caller_times[slot], table.reply_times[slot])
         if self.is_probed(slot):
@@ -243,16 +254,16 @@
         return now - last_active_time
 
     def is_probed(self, slot: int) -> bool:
-        """Return whether probes keep a flow's server time recent.
+        """Return whether probes keep the reply time of a flow recent.
 
-        Then only its caller shows life of its own.
+        Then only packets of the caller show that the flow is active.
         """
         table = self.table
         established = table.statuses[slot] == FlowStatus.ESTABLISHED
         return established and table.roles[slot] == Role.OWNER
 
     def log_record(self, event: str, slot: int, reason: str) -> None:
-        """Log one decision about a record."""
+        """Log a decision about the flow of a record."""
         key = self.table.keys[slot]
         if key is None:
             return
@@ -269,7 +280,15 @@
         reason: str,
         service: str = "",
     ) -> None:
-        """Log one decision."""
+        """Log a decision about a flow.
+
+        Args:
+            event: Name of the decision.
+            key: Key of the flow.
+            server: Backend server as ``ip:port``, or ``none``.
+            reason: Reason code of the decision.
+            service: Service name; if empty, the service in force for the key.
+        """
         if not service:
             service_number = self.current_service_of(key)
             service = (
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -1,4 +1,4 @@
-"""How far a flow has come, by the packets of its caller."""
+"""Tracking of the progress of flows by the packets of their callers."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 
 
 class FlowTracker:
-    """Follows handshake, work and end of the flows this VM owns."""
+    """Tracks the handshake, the work and the end of the flows that this VM owns."""
 
     def __init__(self, state: FlowState, silence_detector: Silence) -> None:
         self.state = state
         self.silence_detector = silence_detector
 
     def track_packet(self, slot: int, segment: Segment, now: float) -> None:
-        """Follow handshake, work and retransmissions of a flow."""
+        """Track the handshake, the work and the retransmissions of a flow."""
         table = self.state.table
         if segment.opens:
             table.caller_isns[slot] = segment.seq
@@ -31,7 +31,7 @@
             table.flow_flags[slot] |= FlowFlag.CALLER_NEXT_KNOWN
 
     def track_ack(self, slot: int, segment: Segment) -> None:
-        """Learn from an acknowledgement what the server has sent."""
+        """Update the server's next sequence number from an acknowledgement."""
         table = self.state.table
         next_known = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         if not next_known or seq_after(segment.ack, table.server_nexts[slot]):
@@ -39,7 +39,7 @@
             table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
 
     def track_payload(self, slot: int, segment: Segment, now: float) -> None:
-        """Count new bytes as work and old ones as a sign of silence."""
+        """Count new bytes as work and old bytes as a retransmission."""
         table = self.state.table
         end_seq = next_seq(segment)
         next_known = table.flow_flags[slot] & FlowFlag.CALLER_NEXT_KNOWN
@@ -56,7 +56,7 @@
         self.state.start_work(slot)
 
     def track_close(self, slot: int, segment: Segment, now: float) -> None:
-        """Follow the end of a flow, or find that it went silent."""
+        """Close a flow on RST and track its FIN."""
         state = self.state
         table = state.table
         if segment.flags & FLAG_RST:
@@ -66,7 +66,7 @@
             self.handle_fin(slot, now)
 
     def handle_fin(self, slot: int, now: float) -> None:
-        """Follow a FIN: the second one ends the flow."""
+        """Handle a FIN; the flow is closed once both ends have sent one."""
         table = self.state.table
         flow_flags = table.flow_flags[slot]
         if flow_flags & FlowFlag.CALLER_FIN and flow_flags & FlowFlag.SERVER_FIN:
