--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -1,4 +1,4 @@
-"""The owner's way with packets of callers."""
+"""Handling of callers' packets by the owner of their flows."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class CallerPacketHandler:
-    """Forwards open flows and looks for lost records."""
+    """Forwards packets of open flows and looks up missing records."""
 
     def __init__(self, state: FlowState, silence_detector: Silence) -> None:
         self.state = state
@@ -46,7 +46,7 @@
         self.handle_with_record(slot, segment, now)
 
     def handle_without_record(self, segment: Segment, now: float) -> None:
-        """Handle a packet whose flow this owner does not know."""
+        """Handle a packet whose flow has no record on this owner."""
         if segment.key in self.state.pending:
             self.flow_placement.handle_pending_packet(segment)
         elif self.may_start_flow(segment) and not self.record_may_exist_elsewhere(
@@ -61,7 +61,10 @@
         return segment.opens or not segment.is_tcp
 
     def record_may_exist_elsewhere(self, segment: Segment, now: float) -> bool:
-        """Return whether another VM may hold the record of a flow that starts."""
+        """Return whether another VM may hold the record of a flow that seems new.
+
+        This is so for some time after a change of the membership view.
+        """
         settings = self.state.settings
         window = settings.view_settle_seconds
         if not segment.is_tcp:
@@ -69,12 +72,12 @@
         return now - self.state.ranking.changed_at < window
 
     def handle_placed(self, event: FlowPlaced, now: float) -> None:
-        """Forward what was held of a flow that has a server now."""
+        """Forward the held packets of a flow that was placed."""
         for segment in self.flow_placement.bind_flow(event, now):
             self.handle_with_record(self.state.table.slots[event.key], segment, now)
 
     def handle_with_record(self, slot: int, segment: Segment, now: float) -> None:
-        """Handle a packet of a flow whose record is here."""
+        """Handle a packet whose flow has a record on this VM."""
         state = self.state
         if not state.server_permitted(slot):
             self.reset_reassigned_flow(slot, segment, now)
@@ -86,7 +89,7 @@
             self.forward_packet(slot, segment, now)
 
     def reset_reassigned_flow(self, slot: int, segment: Segment, now: float) -> None:
-        """Reset a flow whose server's address now serves another service."""
+        """Reset a flow whose server's address now belongs to another service."""
         state = self.state
         service_name = state.service_name_of(slot)
         server = state.server_address_of(slot)
@@ -96,7 +99,7 @@
             state.refuse_flow(segment, Refusal.SERVER_GONE)
 
     def handle_closed_flow(self, slot: int, segment: Segment, now: float) -> None:
-        """Handle a packet of a key whose last flow is over."""
+        """Handle a packet with the key of a closed flow."""
         state = self.state
         may_start = self.may_start_flow(segment)
         if state.is_quarantined(slot, now):
@@ -115,14 +118,21 @@
             self.start_lookup(segment, now)
 
     def resend_reset(self, segment: Segment) -> None:
-        """Repeat a reset that the caller did not take, now with its own numbers."""
+        """Reset a flow again with the sequence numbers of the caller's packet.
+
+        The caller ignored the first reset, whose numbers were those known to this VM.
+        """
         if segment.flags & FLAG_RST:
             self.state.drop_packet(Refusal.SILENT)
             return
         self.state.out.append(ResetCaller(segment, Refusal.SILENT))
 
     def forward_packet(self, slot: int, segment: Segment, now: float) -> None:
-        """Send a packet to its server, by the backup while that lacks the record."""
+        """Forward a packet to its server.
+
+        The packet goes through the backup VM if that VM has no current copy of the
+        record or must see the packet's SYN, FIN or RST.
+        """
         state = self.state
         table = state.table
         table.caller_times[slot] = now
@@ -138,7 +148,10 @@
         self.flow_tracker.track_close(slot, segment, now)
 
     def start_lookup(self, segment: Segment, now: float) -> None:
-        """Send a packet in search of its record, or decide without."""
+        """Send a packet to the first VM of a lookup for its record.
+
+        If there is no VM to ask, the miss is handled at once.
+        """
         next_vm = self.next_lookup_vm(segment.key, 0, self.state.vm)
         if next_vm is None:
             self.handle_lookup_miss(segment, now)
@@ -147,7 +160,7 @@
         self.state.out.append(SendToPeer(next_vm, header, segment.packet))
 
     def disputed_binding(self, segment: Segment) -> Binding | None:
-        """Return the record here that a search is to confirm or to replace."""
+        """Return the binding here that a lookup should confirm or replace, if any."""
         state = self.state
         slot = state.table.slots.get(segment.key)
         if slot is None or state.table.roles[slot] == Role.LEARNED:
@@ -155,7 +168,7 @@
         return state.binding_of(slot)
 
     def next_lookup_vm(self, key: FlowKey, hops: int, origin: VmId) -> VmId | None:
-        """Return the VM that a search visits next, None after the last."""
+        """Return the VM that a lookup visits next, None after the last one."""
         state = self.state
         if hops >= state.settings.lookup_hop_limit:
             return None
@@ -168,12 +181,13 @@
     def handle_lookup_miss(
         self, segment: Segment, now: float, *, record_maybe_lost: bool = False
     ) -> None:
-        """Decide about a packet whose record nobody has.
+        """Handle a packet whose record no other VM holds.
 
         Args:
             segment: The packet.
             now: Time in seconds.
-            suspect: Whether a VM that was asked has lately lost another one.
+            record_maybe_lost: Whether a visited VM recently lost another VM, which may
+                have held the record.
         """
         state = self.state
         slot = state.table.slots.get(segment.key)
@@ -194,7 +208,10 @@
             state.refuse_flow(segment, Refusal.FLOW_UNKNOWN)
 
     def is_view_unsettled(self, now: float) -> bool:
-        """Return whether a record may still turn up: never reset a flow too early."""
+        """Return whether a record may still be found because the view changed recently.
+
+        Until then no unknown flow is reset.
+        """
         settings = self.state.settings
         ranking = self.state.ranking
         if now - ranking.changed_at < settings.view_settle_seconds:
@@ -205,9 +222,9 @@
         return now - ranking.loss_times[-1] < settings.partition_hold_seconds
 
     def missed_twice(self, segment: Segment, now: float) -> bool:
-        """Return whether a flow was missing before, some time ago.
+        """Return whether a lookup for the flow also failed some time ago.
 
-        A record that only a disagreement of views hides turns up in between.
+        A record that was hidden only by differing views is found in the meantime.
         """
         settings = self.state.settings
         first_miss_times = self.state.first_miss_times
@@ -226,7 +243,7 @@
         return True
 
     def continue_with_own_record(self, slot: int, segment: Segment, now: float) -> None:
-        """Go on with this VM's record after a search found no better one."""
+        """Continue with the record here after a lookup found no better one."""
         status = self.state.table.statuses[slot]
         if not self.ack_validator.indicates_other_server(
             slot, segment
@@ -242,10 +259,10 @@
     def may_belong_to_other_server(
         self, slot: int, segment: Segment, now: float
     ) -> bool:
-        """Return whether a packet may be of a handshake with another server.
+        """Return whether a packet may belong to a handshake with another server.
 
-        Without any answer of the server seen here, that is given up after two searches,
-        but not while a cut may hide the other record.
+        If this VM has seen no reply from the server, the result is False after two
+        failed lookups, but not while a network partition may hide the other record.
         """
         reply_seen = self.state.table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         return (
@@ -257,10 +274,10 @@
     def continue_with_confirmed_record(
         self, slot: int, segment: Segment, now: float
     ) -> None:
-        """Go on with a record whose server another VM names too.
+        """Continue with a record whose server was confirmed by another VM.
 
-        The server's answer may have passed a VM that knew no owner, so that the packet
-        seems to belong to a handshake with another server.
+        The server's reply may have passed through a VM that did not know the owner, so
+        that the packet seems to belong to a handshake with another server.
         """
         status = self.state.table.statuses[slot]
         if status == FlowStatus.CLOSED or not self.state.server_permitted(slot):
@@ -271,7 +288,14 @@
     def place_after_lookup(
         self, segment: Segment, now: float, *, record_maybe_lost: bool
     ) -> None:
-        """Place a flow that nobody knows, unless its record may have been lost."""
+        """Place a flow that no VM knows, unless its record may have been lost.
+
+        Args:
+            segment: The packet.
+            now: Time in seconds.
+            record_maybe_lost: Whether a visited VM recently lost another VM, which may
+                have held the record.
+        """
         state = self.state
         if segment.key in state.pending:
             self.flow_placement.handle_pending_packet(segment)
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -1,4 +1,4 @@
-"""The way of packets that other VMs passed on."""
+"""Handling of packets that other VMs sent on."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class PeerPacketHandler:
-    """Stores second copies, answers searches and corrects owners that moved."""
+    """Stores backup copies, answers lookups and corrects outdated owners."""
 
     def __init__(
         self,
@@ -40,10 +40,13 @@
         self.stage_handlers[packet.header.stage](packet, now)
 
     def forward_to_owner(self, packet: PeerPacket) -> bool:
-        """Pass a packet on if another VM owns its flow; return whether it was.
+        """Forward a packet if another VM owns its flow.
 
-        A packet from the VM that this one takes for the owner stays: that VM knows
-        better, for it is leaving or has a newer view.
+        A packet from the VM that is the owner by this VM's view is not sent back: that
+        VM shuts down or has a newer view.
+
+        Returns:
+            Whether the packet was forwarded.
         """
         state = self.state
         owner = state.ranking.owner_of(packet.segment.key)
@@ -56,7 +59,7 @@
         return True
 
     def handle_to_owner(self, packet: PeerPacket, now: float) -> None:
-        """Handle a caller's packet that a VM without its record passed on."""
+        """Handle a caller's packet that another VM forwarded to the flow's owner."""
         if self.forward_to_owner(packet):
             self.request_view_refresh(packet.segment)
             return
@@ -68,7 +71,7 @@
         self.state.drop_packet(Refusal.HOP_LIMIT)
 
     def request_view_refresh(self, segment: Segment) -> None:
-        """Ask for a fresh view: a peer took this VM for an owner it is not."""
+        """Request a fresh view because a peer took this VM for the owner of a flow."""
         state = self.state
         service = state.current_service_of(segment.key)
         if service is None:
@@ -82,12 +85,12 @@
         return self.state.ranking.owner_of(segment.key) == self.state.vm
 
     def has_flow_record(self, segment: Segment) -> bool:
-        """Return whether this VM has a record that is more than learned."""
+        """Return whether this VM is the owner or backup of a packet's flow."""
         slot = self.state.table.slots.get(segment.key)
         return slot is not None and self.state.table.roles[slot] != Role.LEARNED
 
     def handle_store(self, packet: PeerPacket, now: float) -> None:
-        """Keep the second copy of a record, then forward its packet."""
+        """Store the backup copy of a record and forward its packet."""
         binding = packet.header.binding
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
@@ -106,7 +109,7 @@
             self.forward_as_backup(slot, packet, now)
 
     def forward_as_backup(self, slot: int, packet: PeerPacket, now: float) -> None:
-        """Follow a packet as the backup and forward it."""
+        """Update the backup copy from a packet and forward the packet."""
         state = self.state
         table = state.table
         segment = packet.segment
@@ -121,7 +124,7 @@
             self.caller_handler.flow_tracker.handle_fin(slot, now)
 
     def update_backup_record(self, slot: int, segment: Segment, now: float) -> None:
-        """Note what a stored packet shows of its flow."""
+        """Update the backup copy of a record from a packet."""
         table = self.state.table
         table.caller_times[slot] = now
         table.backup_times[slot] = now
@@ -138,13 +141,13 @@
             table.statuses[slot] = FlowStatus.ESTABLISHED
 
     def send_correction(self, packet: PeerPacket, slot: int) -> None:
-        """Give an owner the better record this VM has, with its packet."""
+        """Send the winning record of this VM, with the packet, back to the owner."""
         header = Passing(Stage.ADOPT, CORRECTION_HOPS, self.state.binding_of(slot))
         action = SendToPeer(packet.sender, header, packet.segment.packet)
         self.state.out.append(action)
 
     def handle_lookup(self, packet: PeerPacket, now: float) -> None:
-        """Answer a search, or send it on to the next VM."""
+        """Answer a lookup or send it on to the next VM."""
         state = self.state
         segment = packet.segment
         origin = packet.header.origin
@@ -162,13 +165,13 @@
     def find_binding(
         self, segment: Segment, now: float, *, disputed: bool
     ) -> Binding | None:
-        """Return the record here that fits a searched packet.
+        """Return the binding of a packet's flow if the record here fits the packet.
 
         Args:
             segment: The packet.
             now: Time in seconds.
-            doubted: Whether its owner has a record that the packet seems to contradict:
-                then a copy that has seen no answer of its server proves nothing.
+            disputed: Whether the packet seems to contradict the owner's record. Then a
+                half-open record without any reply from its server is not returned.
         """
         state = self.state
         slot = state.table.slots.get(segment.key)
@@ -193,7 +196,11 @@
         return state.binding_of(slot)
 
     def drop_if_quarantined(self, segment: Segment, now: float) -> bool:
-        """Drop a searched packet of a flow that just ended here."""
+        """Drop a packet of a lookup if its flow's key is in quarantine here.
+
+        Returns:
+            Whether the packet was dropped.
+        """
         state = self.state
         slot = state.table.slots.get(segment.key)
         if slot is None or state.table.statuses[slot] != FlowStatus.CLOSED:
@@ -204,7 +211,7 @@
         return True
 
     def continue_lookup(self, packet: PeerPacket, now: float) -> None:
-        """Send a search to the next VM, or tell its origin that nobody knows."""
+        """Send a lookup to the next VM, or a miss to its origin after the last VM."""
         state = self.state
         hops = packet.header.hops
         origin = packet.header.origin
@@ -219,7 +226,7 @@
         state.out.append(SendToPeer(receiver, header, packet.segment.packet))
 
     def handle_adopt(self, packet: PeerPacket, now: float) -> None:
-        """Take a record that a search or a correction found."""
+        """Store a record that a lookup or a correction found."""
         binding = packet.header.binding
         segment = packet.segment
         slot = None
@@ -244,14 +251,14 @@
             self.caller_handler.continue_with_confirmed_record(slot, segment, now)
 
     def handle_miss(self, packet: PeerPacket, now: float) -> None:
-        """Decide about a packet whose record no live VM has."""
+        """Handle a packet whose record no live VM holds."""
         record_maybe_lost = packet.header.record_maybe_lost
         self.caller_handler.handle_lookup_miss(
             packet.segment, now, record_maybe_lost=record_maybe_lost
         )
 
     def handle_reply_to_owner(self, packet: PeerPacket, now: float) -> None:
-        """Handle a reply another VM passed on."""
+        """Handle a reply that another VM forwarded to the flow's owner."""
         binding = packet.header.binding
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
@@ -259,7 +266,7 @@
             self.reply_handler.handle_as_owner(packet.segment, binding.server, now)
 
     def handle_reply_close(self, packet: PeerPacket, now: float) -> None:
-        """Handle the end of a flow as its backup."""
+        """Handle a closing reply as the backup of its flow."""
         binding = packet.header.binding
         if binding is None:
             self.state.drop_packet(Refusal.FLOW_UNKNOWN)
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -1,4 +1,4 @@
-"""The way of packets from backend servers."""
+"""Handling of packets from backend servers."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class ReplyHandler:
-    """Learns flows from replies and lets the owner see the first answers."""
+    """Learns flows from replies and forwards replies through the flow's owner."""
 
     def __init__(
         self,
@@ -31,7 +31,7 @@
         self.caller_handler = caller_handler
 
     def handle_from_fabric(self, segment: Segment, server: Address, now: float) -> None:
-        """Handle a reply straight from the fabric."""
+        """Handle a reply that arrived directly from the network fabric."""
         owner = self.state.ranking.owner_of(segment.key)
         if owner == self.state.vm or owner is None:
             self.handle_as_owner(segment, server, now)
@@ -42,11 +42,10 @@
         self.state.out.append(SendToPeer(owner, header, segment.packet))
 
     def learn_flow(self, segment: Segment, server: Address, now: float) -> bool:
-        """Keep what a reply shows of its flow.
+        """Add or update the record of a flow from its reply.
 
         Returns:
-            Whether the owner may see the reply: False if the record here shows that
-            it is another server's.
+            Whether the owner may get the reply; this is always True.
         """
         state = self.state
         table = state.table
@@ -64,7 +63,7 @@
         return True
 
     def server_number_of(self, segment: Segment, server: Address) -> int:
-        """Return the number of the server a reply is from."""
+        """Return the number of the server that sent a reply, adding it if it is new."""
         routes = self.state.routes
         server_number = routes.server_numbers.get(server)
         if server_number is None:
@@ -78,7 +77,7 @@
     def add_learned_record(
         self, segment: Segment, server_number: int, now: float
     ) -> None:
-        """Add a learned record, the oldest goes when there are too many."""
+        """Add a learned record, evicting the oldest ones at the limit."""
         state = self.state
         service_number = state.current_service_of(segment.key)
         if service_number is None or segment.flags & CLOSE_FLAGS:
@@ -95,7 +94,7 @@
         self.update_from_reply(slot, segment, now)
 
     def evict_learned_records(self) -> None:
-        """Drop the oldest learned record when the cache is full."""
+        """Evict the oldest learned records until there is space for a new one."""
         state = self.state
         table = state.table
         learned_keys = state.learned_keys
@@ -112,12 +111,12 @@
             )
 
     def has_learned_record(self, key: object) -> bool:
-        """Return whether a key still has a learned record."""
+        """Return whether a key has a learned record."""
         slot = self.state.table.slots.get(key)  # type: ignore[call-overload]
         return slot is not None and self.state.table.roles[slot] == Role.LEARNED
 
     def update_from_reply(self, slot: int, segment: Segment, now: float) -> None:
-        """Follow a reply on a VM that does not own its flow."""
+        """Update the record of a flow that this VM does not own from a reply."""
         table = self.state.table
         table.reply_times[slot] = now
         if not segment.is_tcp:
@@ -132,7 +131,7 @@
             table.remove(slot)
 
     def advance_server_next(self, slot: int, segment: Segment) -> None:
-        """Move the next sequence number of the server forward."""
+        """Advance the server's next sequence number to the end of a reply."""
         table = self.state.table
         end_seq = next_seq(segment)
         next_known = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
@@ -158,7 +157,7 @@
     def handle_without_record(
         self, segment: Segment, server: Address, now: float
     ) -> None:
-        """Pass on a reply whose flow has no record here, and learn it."""
+        """Learn a flow without an owned or backup record and forward its reply."""
         state = self.state
         service_number = state.current_service_of(segment.key)
         server_number = state.routes.server_numbers[server]
@@ -171,12 +170,12 @@
         self.send_to_caller(segment)
 
     def drop_crossed_reply(self, slot: int, segment: Segment) -> None:
-        """Drop a reply of another server than the flow's own."""
+        """Drop a reply that comes from another server than the flow's."""
         self.state.drop_packet(Refusal.REPLY_CROSSED)
         self.state.log_record("reply-dropped", slot, Refusal.REPLY_CROSSED)
 
     def handle_server_reply(self, slot: int, segment: Segment, now: float) -> None:
-        """Follow a reply of the flow's own server and pass it on."""
+        """Track a reply of the flow's server and forward it."""
         state = self.state
         table = state.table
         table.reply_times[slot] = now
@@ -194,7 +193,7 @@
             self.send_to_caller(segment)
 
     def handle_server_close(self, slot: int, segment: Segment, now: float) -> None:
-        """Follow the end a server gives to a flow, and let the backup see it."""
+        """Handle a FIN or RST of the server and forward it through the backup VM."""
         state = self.state
         if segment.flags & FLAG_RST:
             state.close_flow(slot, "reset-by-server", now)
@@ -209,7 +208,7 @@
         state.out.append(SendToPeer(backup_vm, header, segment.packet))
 
     def close_as_backup(self, segment: Segment, binding: Binding, now: float) -> None:
-        """Follow, as the backup, the end a server gives to a flow."""
+        """Handle a FIN or RST of the server as the backup and forward it."""
         state = self.state
         slot = state.table.slots.get(segment.key)
         if slot is not None and state.server_address_of(slot) == binding.server:
