--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -1,4 +1,4 @@
-"""Records that travel in paced batches, for flows whose packets do not bring them."""
+"""Rate-limited batches of records for flows whose packets do not carry them."""
 
 from __future__ import annotations
 
@@ -27,12 +27,12 @@
 
 
 class SentBatch(NamedTuple):
-    """A batch that is not confirmed yet.
+    """A batch that is not yet confirmed.
 
     Attributes:
-        vm: Who was sent it.
-        until: When it is given up, in seconds.
-        records: What it carried.
+        vm: VM that the batch was sent to.
+        expires_at: Time in seconds at which the batch is given up.
+        records: Records of the batch.
     """
 
     vm: VmId
@@ -41,11 +41,15 @@
 
 
 class BatchExchange:
-    """Sends and takes batches of records within a budget of bytes.
+    """Sends and receives batches of records within a byte budget.
 
     Attributes:
-        sent: Batches that wait for their confirmation, by number.
-        bytes_left: What may be sent now.
+        byte_budget: Bytes that may be sent now.
+        last_batch_number: Number of the last batch sent.
+        unconfirmed_batches: Unconfirmed batches by number.
+        open_batches: Records of the batches being filled, by receiver.
+        deferred_slots: Slots that wait for budget, in the order of their deferral.
+        deferred_set: The deferred slots as a set.
     """
 
     def __init__(
@@ -62,18 +66,18 @@
         self.deferred_set: set[int] = set()
 
     def refill_budget(self, elapsed: float) -> None:
-        """Add to the budget what the time allows."""
+        """Refill the byte budget for an elapsed time in seconds."""
         rate = self.state.settings.repair_bytes_per_second
         max_budget = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_HEADER_BYTES)
         self.byte_budget = min(self.byte_budget + rate * elapsed, max_budget)
 
     def send_open_batches(self, now: float) -> None:
-        """Send every batch that has begun."""
+        """Send all batches that hold records."""
         for vm in list(self.open_batches):
             self.send_batch(vm, now)
 
     def add_to_batch(self, slot: int, vm: VmId, now: float) -> None:
-        """Add a record to the batch for a VM, if the budget allows."""
+        """Add a record to the batch for a VM, or defer it for lack of budget."""
         if self.byte_budget < RECORD_BYTES:
             self.defer_slot(slot)
             return
@@ -84,7 +88,7 @@
             self.send_batch(vm, now)
 
     def defer_slot(self, slot: int) -> None:
-        """Remember a slot whose record the budget does not allow yet."""
+        """Defer a slot whose record exceeds the budget."""
         if (
             slot not in self.deferred_set
             and len(self.deferred_set) < DEFERRED_SLOT_LIMIT
@@ -93,7 +97,7 @@
             self.deferred_slots.append(slot)
 
     def next_deferred_slot(self) -> int | None:
-        """Return the slot that has waited longest, if the budget allows its record."""
+        """Remove and return the first deferred slot if the budget allows its record."""
         if not self.deferred_slots or self.byte_budget < RECORD_BYTES:
             return None
         slot = self.deferred_slots.popleft()
@@ -101,7 +105,11 @@
         return slot
 
     def build_record(self, slot: int, now: float) -> FlowRecord:
-        """Return a record as it travels in a batch."""
+        """Build the message form of the record in a slot.
+
+        Raises:
+            ValueError: The slot is free.
+        """
         state = self.state
         table = state.table
         key = table.keys[slot]
@@ -142,7 +150,7 @@
             del self.unconfirmed_batches[number]
 
     def handle_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
-        """Keep the records another VM gives."""
+        """Store the records of a batch and confirm it."""
         preferred_records = []
         for record in batch.records:
             own_record = self.store_record(record, now, always_replace=False)
@@ -154,7 +162,17 @@
     def store_record(
         self, record: FlowRecord, now: float, *, always_replace: bool
     ) -> FlowRecord | None:
-        """Keep one record, or return the better one that is here."""
+        """Store a record unless the record here wins over it.
+
+        Args:
+            record: Record from another VM.
+            now: Time in seconds.
+            always_replace: Whether the record replaces one with another server without
+                a comparison.
+
+        Returns:
+            The record here if it wins, otherwise None.
+        """
         state = self.state
         table = state.table
         slot = table.slots.get(record.key)
@@ -175,7 +193,7 @@
         return None
 
     def record_wins(self, record: FlowRecord, slot: int, now: float) -> bool:
-        """Return whether a record wins over the one here."""
+        """Return whether a record from another VM wins over the record in a slot."""
         state = self.state
         table = state.table
         status = table.statuses[slot]
@@ -192,7 +210,7 @@
         return record.server < state.server_address_of(slot)
 
     def discard_record(self, slot: int, now: float) -> None:
-        """Drop the record that lost against another VM's."""
+        """Remove the losing record and, if it was owned here, reset its server."""
         state = self.state
         key = state.table.keys[slot]
         was_owner = state.table.roles[slot] == Role.OWNER
@@ -205,7 +223,7 @@
         state.remove_flow(slot, Refusal.CONFLICT, now)
 
     def handle_lost_record(self, message: LostRecord, now: float) -> None:
-        """Drop the second copy of a record that lost against another."""
+        """Remove the backup copy of a record that lost a conflict."""
         state = self.state
         slot = state.table.slots.get(message.key)
         if slot is None or state.table.roles[slot] == Role.OWNER:
@@ -214,7 +232,7 @@
             state.remove_flow(slot, Refusal.CONFLICT, now)
 
     def add_record(self, record: FlowRecord, now: float) -> int:
-        """Return the slot of a record that was not here."""
+        """Add a record from another VM and return its slot."""
         state = self.state
         table = state.table
         service_key = service_key_of(record.key)
@@ -231,7 +249,7 @@
         return slot
 
     def update_record(self, slot: int, record: FlowRecord, now: float) -> None:
-        """Bring a record here up to date with one from its owner."""
+        """Update the record in a slot from a record of another VM."""
         table = self.state.table
         table.epochs[slot] = max(table.epochs[slot], record.epoch)
         table.revisions[slot] = max(table.revisions[slot], record.revision)
@@ -245,7 +263,7 @@
     def handle_batch_stored(
         self, sender: VmId, confirmation: BatchStored, now: float
     ) -> None:
-        """Note that another VM keeps the records of a batch."""
+        """Handle the confirmation of a batch by its receiver."""
         batch = self.unconfirmed_batches.pop(confirmation.batch_number, None)
         if batch is None or batch.vm != sender:
             return
@@ -258,7 +276,7 @@
             self.store_record(record, now, always_replace=True)
 
     def confirm_record(self, slot: int, vm: VmId, now: float) -> None:
-        """Note that a VM keeps one record."""
+        """Mark a record as stored by a VM, and release ownership to a new owner."""
         state = self.state
         table = state.table
         table.backup_times[slot] = now
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -1,4 +1,4 @@
-"""The flow engine: one event in, the actions it asks for out."""
+"""The flow engine: handles one event at a time and returns the resulting actions."""
 
 from __future__ import annotations
 
@@ -55,10 +55,15 @@
 class FlowEngine:
     """Decides about every packet of one entry VM.
 
-    ``handle`` takes any event. ``route_caller`` and ``route_reply`` are the fast path
-    for packets of open flows: what they cannot settle goes to ``handle``. Actions the
-    fast path causes (work started or answered) come with the next ``handle`` or from
-    ``drain``.
+    ``handle`` accepts any event. ``route_caller`` and ``route_reply`` are the fast path
+    for packets of open flows; packets that they decline go to ``handle``. Actions that
+    the fast path causes (work started or answered) are returned by the next ``handle``
+    or by ``drain``.
+
+    Attributes:
+        owned_services: Whether this VM owns the flows of each service number.
+        backup_numbers: Number of the backup VM for each service number, by zone of the
+            servers.
     """
 
     def __init__(self, vm: VmId, settings: FlowSettings, random: random.Random) -> None:
@@ -80,25 +85,29 @@
         self.backup_numbers: list[dict[str, int]] = []
 
     def use_settings(self, settings: FlowSettings) -> None:
-        """Bring other settings into force; open flows go on under them."""
+        """Apply new settings, also to open flows."""
         self.settings = settings
         self.state.settings = settings
 
     def handle(self, event: Event, now: float) -> list[Action]:
-        """Return what an event at a time, in seconds, asks for."""
+        """Handle an event and return the resulting actions; ``now`` is in seconds."""
         self.apply_event(event, now)
         self.cache_service_owners()
         return self.drain()
 
     def drain(self) -> list[Action]:
-        """Return the actions that have gathered, and forget them."""
+        """Return the collected actions and clear them."""
         actions = self.state.out
         self.state.out = []
         return actions
 
     @singledispatchmethod
     def apply_event(self, event: Event, now: float) -> None:
-        """Act on one event."""
+        """Apply one event to the state.
+
+        Raises:
+            TypeError: The type of the event is unknown.
+        """
         raise TypeError(f"no such event: {type(event).__name__}")
 
     @apply_event.register
@@ -165,7 +174,7 @@
         self.reassign_pending_flows()
 
     def reassign_pending_flows(self) -> None:
-        """Pass held flows to their new owners."""
+        """Pass pending flows to their new owners after a change of the view."""
         state = self.state
         self.owned_services = []
         self.backup_numbers = []
@@ -175,7 +184,7 @@
                 self.move_pending_flow(key, owner)
 
     def move_pending_flow(self, key: FlowKey, owner: VmId) -> None:
-        """Pass a held flow to its new owner; nothing of it was forwarded yet."""
+        """Pass a pending flow, of which no packet was forwarded, to its new owner."""
         state = self.state
         state.out.append(CancelPlacement(key))
         for segment in state.pending.pop(key).segments:
@@ -183,7 +192,7 @@
             state.out.append(SendToPeer(owner, header, segment.packet))
 
     def cache_service_owners(self) -> None:
-        """Keep, for the fast path, who owns and who backs up each service number."""
+        """Cache owner and backup VMs of new service numbers for the fast path."""
         ranking = self.state.ranking
         service_keys = self.state.routes.service_keys
         for service_key in service_keys[len(self.owned_services) :]:
@@ -191,7 +200,7 @@
             self.backup_numbers.append(self.backup_numbers_by_zone(service_key))
 
     def backup_numbers_by_zone(self, service_key: bytes) -> dict[str, int]:
-        """Return the number of the backup for each zone of servers."""
+        """Return the number of the backup VM for each availability zone of servers."""
         ranking = self.state.ranking
         zones = {
             ZoneName(""),
@@ -211,7 +220,11 @@
         payload_length: int,
         now: float,
     ) -> bytes | None:
-        """Return the server a caller's packet may go to straight from here, if any."""
+        """Return the server that may get a caller's packet directly from this VM.
+
+        Returns:
+            The address of the server, None if the slow path must handle the packet.
+        """
         state = self.state
         table = state.table
         slot = table.slots.get(key)  # type: ignore[call-overload]
@@ -269,7 +282,11 @@
     def track_caller_payload(
         self, slot: int, tcp_flags: int, seq: int, payload_length: int, flow_flags: int
     ) -> bool:
-        """Count a caller's bytes as work; return False if they were seen before."""
+        """Count payload of a caller as work.
+
+        Returns:
+            False if the bytes were seen before, so that the slow path must handle them.
+        """
         table = self.state.table
         end_seq = (seq + payload_length) & SEQUENCE_MASK
         if tcp_flags:
@@ -293,7 +310,10 @@
         server: bytes,
         now: float,
     ) -> bool:
-        """Return whether a reply may go straight to its caller from here."""
+        """Return whether this VM may forward a server's packet directly to its caller.
+
+        If not, the slow path must handle the packet.
+        """
         state = self.state
         table = state.table
         slot = table.slots.get(key)  # type: ignore[call-overload]
@@ -321,7 +341,11 @@
         return True
 
     def track_reply(self, slot: int, ack: int, payload_length: int, now: float) -> bool:
-        """Count a reply at the owner; return False if the slow path has to see it."""
+        """Track a reply as the owner of its flow.
+
+        Returns:
+            False if the slow path must handle the reply.
+        """
         table = self.state.table
         flow_flags = table.flow_flags[slot]
         if not flow_flags & BACKUP_CONFIRMED and table.backup_vms[slot] != NO_VM:
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -1,4 +1,4 @@
-"""Finding flows that their server no longer answers for, and ending them."""
+"""Detection and reset of flows that their server no longer answers."""
 
 from __future__ import annotations
 
@@ -24,17 +24,17 @@
 
 
 class Silence:
-    """Counts what a server left unanswered while it answered other flows.
+    """Counts unanswered packets of a flow while its server answers other flows.
 
-    A strike is a retransmission or a probe without answer. It counts only when the
-    server answered another flow's packet of this VM in the meantime: a server that is
-    busy, gone or cut off answers nobody, and that is no fault of one flow. Where no
-    other flow has anything to be answered, one of them is probed as a witness.
+    Retransmissions and unanswered probes of a flow are counted. After the first one
+    they count only if the server has answered a packet of this VM since the last one:
+    a server that is busy, down or cut off answers no flow at all. In case no other flow
+    waits for an answer, a reference flow of the server is probed as well.
 
     Attributes:
-        witnesses: The flow each server number answered last.
-        asked: Server numbers whose witness was probed and has not answered.
-        suspects: When each flow that was probed is to be probed again, in seconds.
+        reference_flows: Reference flow of each server number, one that it answered.
+        probed_servers: Server numbers whose reference flow was probed without answer.
+        probe_due_times: Time in seconds at which each probed flow is probed again.
     """
 
     def __init__(self, state: FlowState) -> None:
@@ -44,7 +44,10 @@
         self.probe_due_times: dict[FlowKey, float] = {}
 
     def handle_reply_ack(self, slot: int, ack: int, now: float) -> None:
-        """Note a reply: it ends the silence if it acknowledges all, or more."""
+        """Handle the acknowledgement number of a reply.
+
+        It ends the silence of the flow if it is new or covers all bytes of the caller.
+        """
         table = self.state.table
         last_ack = table.server_acks[slot]
         is_new_ack = last_ack == 0 or seq_after(ack, last_ack)
@@ -62,7 +65,7 @@
         table.strikes[slot] = 0
 
     def record_answer(self, slot: int, now: float) -> None:
-        """Remember that a server answered a packet of this VM."""
+        """Record that the server of a flow answered a packet of this VM."""
         table = self.state.table
         key = table.keys[slot]
         server_number = table.servers[slot]
@@ -72,13 +75,13 @@
         self.probed_servers.discard(server_number)
 
     def record_reference_answer(self, slot: int, now: float) -> None:
-        """Note the answer of the flow that was probed as a witness."""
+        """Record the answer of a server to the probe of its reference flow."""
         table = self.state.table
         if self.reference_flows.get(table.servers[slot]) == table.keys[slot]:
             self.record_answer(slot, now)
 
     def probe_reference_flow(self, slot: int) -> None:
-        """Probe another flow of a server, to learn whether it answers anybody."""
+        """Probe the reference flow of a server to test whether the server answers."""
         state = self.state
         table = state.table
         server_number = table.servers[slot]
@@ -100,7 +103,7 @@
         )
 
     def reference_slot(self, server_number: int) -> int | None:
-        """Return the slot of a server's witness, None if it can be none any more."""
+        """Return the slot of a server's reference flow, None if it is not usable."""
         table = self.state.table
         key = self.reference_flows.get(server_number)
         slot = None if key is None else table.slots.get(key)
@@ -111,7 +114,7 @@
         return slot if table.statuses[slot] == FlowStatus.ESTABLISHED else None
 
     def offer_reference_flow(self, slot: int, key: FlowKey, now: float) -> None:
-        """Let a flow that hears its server be the witness if there is no good one."""
+        """Make an answered flow the reference flow if its server has no usable one."""
         table = self.state.table
         if table.statuses[slot] != FlowStatus.ESTABLISHED or table.strikes[slot]:
             return
@@ -122,7 +125,13 @@
             self.reference_flows[table.servers[slot]] = key
 
     def strike(self, slot: int, min_gap_seconds: float, now: float) -> None:
-        """Note a retransmission or probe, at most one in a gap of seconds."""
+        """Count a retransmission or probe, but not two within a gap.
+
+        Args:
+            slot: Table slot of the flow.
+            min_gap_seconds: Least time between two counted packets.
+            now: Time in seconds.
+        """
         state = self.state
         table = state.table
         last_counted_time = table.strike_times[slot]
@@ -136,7 +145,7 @@
         self.probe_reference_flow(slot)
 
     def handle_retransmission(self, slot: int, segment: Segment, now: float) -> None:
-        """Note a retransmission, and reset the flow when it was one too many."""
+        """Count a retransmission and reset the flow if the limit is exceeded."""
         state = self.state
         settings = state.settings
         min_gap_seconds = settings.silent_seconds / settings.silent_retransmit_limit
@@ -155,7 +164,7 @@
         self.state.table.strikes[slot] = WAS_RESET
 
     def probe_idle_flow(self, slot: int, key: FlowKey, now: float) -> None:
-        """Ask both ends of an idle TCP flow whether they still know it."""
+        """Probe both ends of an idle TCP flow, or reset it if the limit is exceeded."""
         state = self.state
         table = state.table
         settings = state.settings
@@ -178,7 +187,7 @@
         self.probe_due_times[key] = now + settings.probe_interval_seconds
 
     def probe_due_flows(self, now: float) -> None:
-        """Probe again, without waiting for the sweep, what has not answered."""
+        """Probe unanswered flows again when due, without waiting for the sweep."""
         table = self.state.table
         for key in [
             key for key, due_time in self.probe_due_times.items() if due_time < now
@@ -193,10 +202,10 @@
                 self.probe_idle_flow(slot, key, now)
 
     def send_probes(self, slot: int, key: FlowKey) -> None:
-        """Send one keepalive probe to each end whose numbers are known.
+        """Send one keepalive probe to each end whose sequence numbers are known.
 
-        A probe carries the last byte that its receiver acknowledged, and acknowledges
-        nothing that the other end did not.
+        The sequence number of a probe is that of the last byte its receiver
+        acknowledged. Its acknowledgement number is the other end's last one.
         """
         state = self.state
         table = state.table
@@ -211,10 +220,10 @@
             state.out.append(ProbeCaller(key, seq, server_ack))
 
     def send_resets(self, slot: int, key: FlowKey, reason: Refusal) -> None:
-        """Send a reset to each end with the numbers known here.
+        """Reset both ends with the sequence numbers known to this VM.
 
-        A caller that has moved on ignores it, but answers the probe with its own
-        numbers, and then gets a reset that carries these.
+        A caller with newer numbers ignores the reset but answers the probe sent with
+        it. The answer carries the numbers for a reset that it accepts.
         """
         state = self.state
         table = state.table
@@ -230,7 +239,7 @@
         state.out.append(ProbeCaller(key, probe_seq, server_ack))
 
     def repeat_reset(self, slot: int, key: FlowKey, now: float) -> None:
-        """Reset a silent flow again while its key is in quarantine: resets get lost."""
+        """Reset a silent flow again during its quarantine, since resets can be lost."""
         state = self.state
         if state.table.strikes[slot] != WAS_RESET or state.probe_budget < 1.0:
             return
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -1,4 +1,4 @@
-"""Paced work over the whole table: expiry, takeover, second copies, probes."""
+"""Periodic sweep of the flow table: expiry, ownership, backup copies and probes."""
 
 from __future__ import annotations
 
@@ -24,11 +24,13 @@
 
 
 class TableSweep:
-    """Looks at a bounded number of slots each tick.
+    """Visits a limited number of table slots in each tick.
 
     Attributes:
-        cursor: The slot to look at next.
-        due: Slots that should have been looked at by now.
+        cursor: Slot to visit next.
+        due_slots: Number of slots that are due to be visited.
+        last_tick_time: Time in seconds of the last tick.
+        handover_reported: Whether the end of the handover at shutdown was reported.
     """
 
     def __init__(
@@ -63,21 +65,21 @@
         self.report_handover_complete(now)
 
     def visit_deferred_slots(self, now: float) -> None:
-        """Look again at slots that the budget made wait."""
+        """Visit the slots again that were deferred for lack of budget."""
         while (slot := self.batch_exchange.next_deferred_slot()) is not None:
             key = self.state.table.keys[slot]
             if key is not None:
                 self.visit_slot(slot, key, now)
 
     def refill_budgets(self, elapsed: float) -> None:
-        """Add to the budgets what the time allows."""
+        """Refill the byte and probe budgets for an elapsed time in seconds."""
         self.batch_exchange.refill_budget(elapsed)
         rate = self.state.settings.probes_per_second
         probe_budget = self.state.probe_budget + rate * elapsed
         self.state.probe_budget = min(probe_budget, max(rate * BURST_SECONDS, 1.0))
 
     def take_due_slots(self, elapsed: float) -> int:
-        """Return how many slots this tick looks at."""
+        """Return how many slots to visit now and subtract them from those due."""
         settings = self.state.settings
         table_size = len(self.state.table.keys)
         speed_factor = LEAVING_SPEED_FACTOR if self.state.ranking.leaving else 1.0
@@ -87,7 +89,7 @@
         return slot_count
 
     def visit_next_slot(self, now: float) -> None:
-        """Look at the next slot."""
+        """Visit the slot at the cursor and advance the cursor."""
         table = self.state.table
         slot = self.cursor
         self.cursor = (slot + 1) % len(table.keys)
@@ -96,7 +98,7 @@
             self.visit_slot(slot, key, now)
 
     def visit_slot(self, slot: int, key: FlowKey, now: float) -> None:
-        """Do what one record needs."""
+        """Do the work that the record of a slot needs."""
         table = self.state.table
         if table.statuses[slot] == FlowStatus.CLOSED:
             if self.owns_record(slot):
@@ -111,19 +113,20 @@
             self.maintain_record(slot, key, now)
 
     def owns_record(self, slot: int) -> bool:
-        """Return whether this VM owns a record by the view in force.
+        """Return whether this VM owns a record by the current view.
 
-        One that took a flow for silent in a cut may not reset it after the cut, when
-        its owner has it open.
+        A VM that closed a flow as silent during a network partition must not reset it
+        afterwards, because the owner may have it open.
         """
         state = self.state
         service_key = state.routes.service_keys[state.table.services[slot]]
         return state.ranking.rank(service_key)[:1] == [state.vm]
 
     def end_reassigned_flow(self, slot: int, key: FlowKey, now: float) -> None:
-        """Give up a flow whose server's address now serves another service.
+        """End a flow whose server's address now belongs to another service.
 
-        Its caller may wait for an answer and send nothing, so it is reset at once.
+        The flow is reset at once, since its caller may wait for a reply and send
+        nothing.
         """
         table = self.state.table
         if table.roles[slot] != Role.OWNER or key[0] != PROTOCOL_TCP:
@@ -133,7 +136,7 @@
         self.silence_detector.close_reset_flow(slot, Refusal.SERVER_GONE, now)
 
     def idle_limit(self, slot: int) -> float:
-        """Return the seconds a flow may be idle, by its status."""
+        """Return the seconds that a flow may be idle, by its status."""
         settings = self.state.settings
         status = self.state.table.statuses[slot]
         if status == FlowStatus.ESTABLISHED:
@@ -148,7 +151,7 @@
         return limit
 
     def maintain_record(self, slot: int, key: FlowKey, now: float) -> None:
-        """Put a record where it belongs by the view in force."""
+        """Hand over, take over, back up or probe a record as the view requires."""
         state = self.state
         table = state.table
         service_key = state.routes.service_keys[table.services[slot]]
@@ -168,7 +171,7 @@
         self.silence_detector.probe_idle_flow(slot, key, now)
 
     def is_orphaned(self, slot: int, service_key: bytes, now: float) -> bool:
-        """Return whether a copy was not claimed by the owner of a newer view."""
+        """Return whether the owner of a newer view has not claimed a backup record."""
         owner_changed_at = self.state.ranking.owner_change_times.get(service_key)
         if (
             owner_changed_at is None
@@ -178,7 +181,7 @@
         return self.state.table.backup_times[slot] < owner_changed_at
 
     def hand_over(self, slot: int, owner: VmId, now: float) -> None:
-        """Give a record to the VM that owns it now."""
+        """Hand a record over to the VM that owns it by the current view."""
         state = self.state
         owner_has_copy = state.table.backup_vms[slot] == state.ranking.vm_number(owner)
         is_owner = state.table.roles[slot] == Role.OWNER
@@ -192,7 +195,7 @@
         self.batch_exchange.add_to_batch(slot, owner, now)
 
     def repair_backup(self, slot: int, now: float) -> None:
-        """Give the backup a record that no packet has brought to it."""
+        """Send a record in a batch if no packet has brought it to the backup VM."""
         state = self.state
         table = state.table
         backup_vm = self.caller_handler.backup_copies.backup_vm_of(slot)
@@ -211,7 +214,7 @@
         self.batch_exchange.add_to_batch(slot, backup_vm, now)
 
     def expire_provisional_slots(self, now: float) -> None:
-        """Give back the slots of new flows that sent nothing."""
+        """Free the server slots of new flows whose callers sent no bytes in time."""
         state = self.state
         table = state.table
         while state.provisional_slots and state.provisional_slots[0].expires_at <= now:
@@ -223,7 +226,7 @@
                 state.finish_work(slot)
 
     def report_handover_complete(self, now: float) -> None:
-        """Report once that a leaving VM has nothing left to do."""
+        """Report once that this VM, which shuts down, has nothing left to do."""
         state = self.state
         if self.handover_reported or not state.ranking.leaving:
             return
