Rename made to flow_engine

It is the flow engine under test. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -77,19 +77,19 @@
 
 
 def engine(vm: str = "a", settings: FlowSettings = SETTINGS) -> FlowEngine:
-    made = FlowEngine(VmId(vm), settings, random.Random(1))
+    flow_engine = FlowEngine(VmId(vm), settings, random.Random(1))
     entries = ServerRoute(SERVER, ENTRIES), ServerRoute(SECOND, ENTRIES)
-    made.handle(routes(*entries), 0.0)
-    return made
+    flow_engine.handle(routes(*entries), 0.0)
+    return flow_engine
 
 
-def open_flow(made: FlowEngine, key: FlowKey, now: float = SETTLED) -> None:
+def open_flow(flow_engine: FlowEngine, key: FlowKey, now: float = SETTLED) -> None:
     """Place a flow, alone in view, and finish its handshake."""
-    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), now)
-    made.handle(FlowPlaced(key, SERVER), now)
+    flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), now)
+    flow_engine.handle(FlowPlaced(key, SERVER), now)
     answer = segment(key, FLAG_SYN | FLAG_ACK, seq=499, ack=100)
-    made.handle(ServerPacket(answer, SERVER), now)
-    made.handle(CallerPacket(segment(key, seq=100, ack=500)), now)
+    flow_engine.handle(ServerPacket(answer, SERVER), now)
+    flow_engine.handle(CallerPacket(segment(key, seq=100, ack=500)), now)
 
 
 def kinds(actions: list) -> list[str]:
@@ -97,55 +97,57 @@
 
 
 def test_places_a_first_packet_once() -> None:
-    made = engine()
+    flow_engine = engine()
     key = key_of(1)
     syn = CallerPacket(segment(key, FLAG_SYN, seq=99))
-    assert made.handle(syn, SETTLED) == [AskPlacement(key, ENTRIES)]
-    assert made.handle(syn, SETTLED) == [Dropped(Refusal.DUPLICATE_FIRST_PACKET)]
-    assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [
+    assert flow_engine.handle(syn, SETTLED) == [AskPlacement(key, ENTRIES)]
+    assert flow_engine.handle(syn, SETTLED) == [Dropped(Refusal.DUPLICATE_FIRST_PACKET)]
+    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
         WorkStarted(key, SERVER),
         SendToServer(SERVER, b"packet"),
     ]
-    assert made.handle(syn, SETTLED) == [SendToServer(SERVER, b"packet")]
+    assert flow_engine.handle(syn, SETTLED) == [SendToServer(SERVER, b"packet")]
 
 
 def test_refusal_reaches_the_caller_and_no_server() -> None:
-    made = engine()
+    flow_engine = engine()
     key = key_of(1)
     first = segment(key, FLAG_SYN, seq=99)
-    made.handle(CallerPacket(first), SETTLED)
-    actions = made.handle(FlowRefused(key, "busy"), SETTLED)
+    flow_engine.handle(CallerPacket(first), SETTLED)
+    actions = flow_engine.handle(FlowRefused(key, "busy"), SETTLED)
     assert actions == [ResetCaller(first, "busy")]
 
 
 def test_caller_reset_cancels_a_held_flow() -> None:
-    made = engine()
+    flow_engine = engine()
     key = key_of(1)
-    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
+    flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
     reset = CallerPacket(segment(key, FLAG_RST, seq=100))
-    assert made.handle(reset, SETTLED) == [CancelPlacement(key)]
-    assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [FlowClosed(key, SERVER)]
+    assert flow_engine.handle(reset, SETTLED) == [CancelPlacement(key)]
+    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
+        FlowClosed(key, SERVER)
+    ]
 
 
 def test_counts_work_by_unanswered_bytes() -> None:
-    made = engine()
+    flow_engine = engine()
     key = key_of(1)
-    open_flow(made, key)
-    assert made.handle(Tick(), SETTLED + 2) == [WorkAnswered(key, SERVER)]
-    assert made.route_caller(key, FLAG_ACK, 100, 500, 40, SETTLED + 3) == SERVER
-    assert made.route_caller(key, FLAG_ACK, 140, 500, 40, SETTLED + 3) == SERVER
-    assert made.drain() == [WorkStarted(key, SERVER)]
-    assert made.route_reply(key, FLAG_ACK, 500, 180, 10, SERVER, SETTLED + 4)
-    assert made.route_reply(key, FLAG_ACK, 510, 180, 10, SERVER, SETTLED + 4)
-    assert made.drain() == [WorkAnswered(key, SERVER)]
+    open_flow(flow_engine, key)
+    assert flow_engine.handle(Tick(), SETTLED + 2) == [WorkAnswered(key, SERVER)]
+    assert flow_engine.route_caller(key, FLAG_ACK, 100, 500, 40, SETTLED + 3) == SERVER
+    assert flow_engine.route_caller(key, FLAG_ACK, 140, 500, 40, SETTLED + 3) == SERVER
+    assert flow_engine.drain() == [WorkStarted(key, SERVER)]
+    assert flow_engine.route_reply(key, FLAG_ACK, 500, 180, 10, SERVER, SETTLED + 4)
+    assert flow_engine.route_reply(key, FLAG_ACK, 510, 180, 10, SERVER, SETTLED + 4)
+    assert flow_engine.drain() == [WorkAnswered(key, SERVER)]
 
 
 def test_first_packet_passes_owner_and_backup_before_the_server() -> None:
     names = ("a", "b", "c")
     key = key_of(1)
     engines = {name: engine(name) for name in names}
-    for made in engines.values():
-        made.handle(ViewChanged(vms(*names)), 0.0)
+    for flow_engine in engines.values():
+        flow_engine.handle(ViewChanged(vms(*names)), 0.0)
     rank = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
     first = segment(key, FLAG_SYN, seq=99)
     ingress, owner, backup = engines[rank[2]], engines[rank[0]], engines[rank[1]]
@@ -170,60 +172,62 @@
 def test_open_flow_follows_what_its_server_announces(
     announced: ServiceName | None, reaches: bool
 ) -> None:
-    made = engine()
+    flow_engine = engine()
     key = key_of(1)
-    open_flow(made, key)
+    open_flow(flow_engine, key)
     servers = () if announced is None else (ServerRoute(SERVER, announced),)
-    made.handle(routes(*servers, revision=2), SETTLED)
-    assert (made.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER) == reaches
+    flow_engine.handle(routes(*servers, revision=2), SETTLED)
+    assert (
+        flow_engine.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
+    ) == reaches
     late = segment(key, seq=105, ack=500, length=5)
-    actions = kinds(made.handle(CallerPacket(late), SETTLED))
+    actions = kinds(flow_engine.handle(CallerPacket(late), SETTLED))
     assert ("SendToServer" in actions) == reaches
     assert ("ResetCaller" in actions) != reaches
 
 
 def test_new_flow_is_not_bound_to_a_server_that_is_gone() -> None:
-    made = engine()
+    flow_engine = engine()
     key = key_of(1)
-    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
-    made.handle(routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
-    assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [
+    flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
+    flow_engine.handle(routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
+    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
         FlowClosed(key, SERVER),
         RefreshRoute(Refusal.SERVER_GONE, ENTRIES, SERVER),
         AskPlacement(key, ENTRIES),
     ]
-    assert kinds(made.handle(FlowPlaced(key, SECOND), SETTLED)) == [
+    assert kinds(flow_engine.handle(FlowPlaced(key, SECOND), SETTLED)) == [
         "WorkStarted",
         "SendToServer",
     ]
 
 
 def test_reply_of_another_server_is_dropped() -> None:
-    made = engine()
+    flow_engine = engine()
     key = key_of(1)
-    open_flow(made, key)
+    open_flow(flow_engine, key)
     reply = segment(key, seq=500, ack=100, length=9)
-    crossed = made.handle(ServerPacket(reply, SECOND), SETTLED)
+    crossed = flow_engine.handle(ServerPacket(reply, SECOND), SETTLED)
     assert crossed == [Dropped(Refusal.REPLY_CROSSED)]
-    assert made.handle(ServerPacket(reply, SERVER), SETTLED)[-1] == SendToCaller(
+    assert flow_engine.handle(ServerPacket(reply, SERVER), SETTLED)[-1] == SendToCaller(
         SERVICE, b"packet"
     )
 
 
 def test_a_half_open_flow_goes_on_when_a_peer_names_the_same_server() -> None:
-    made = engine()
-    made.handle(ViewChanged(vms("a", "b")), 0.0)
-    key = next(key_of(port) for port in range(9) if owns(made, key_of(port)))
-    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
-    made.handle(FlowPlaced(key, SERVER), SETTLED)
+    flow_engine = engine()
+    flow_engine.handle(ViewChanged(vms("a", "b")), 0.0)
+    key = next(key_of(port) for port in range(9) if owns(flow_engine, key_of(port)))
+    flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
+    flow_engine.handle(FlowPlaced(key, SERVER), SETTLED)
     unseen_answer = segment(key, seq=100, ack=500, length=20)
-    [search] = made.handle(CallerPacket(unseen_answer), SETTLED)
+    [search] = flow_engine.handle(CallerPacket(unseen_answer), SETTLED)
     assert search.passing.stage == Stage.LOOKUP
     adopt = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
-    actions = made.handle(PeerPacket(VmId("b"), adopt, unseen_answer), SETTLED)
+    actions = flow_engine.handle(PeerPacket(VmId("b"), adopt, unseen_answer), SETTLED)
     [store] = [action for action in actions if isinstance(action, SendToPeer)]
     assert store.passing.stage == Stage.STORE
 
 
-def owns(made: FlowEngine, key: FlowKey) -> bool:
-    return made.state.ranking.owner_of(key) == made.vm
+def owns(flow_engine: FlowEngine, key: FlowKey) -> bool:
+    return flow_engine.state.ranking.owner_of(key) == flow_engine.vm
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -44,22 +44,22 @@
 SERVER, SECOND, SETTLED = cases.SERVER, cases.SECOND, cases.SETTLED
 
 
-def send(made, key: FlowKey, now: float, **fields) -> list[Action]:
-    return made.handle(CallerPacket(cases.segment(key, **fields)), now)
+def send(flow_engine, key: FlowKey, now: float, **fields) -> list[Action]:
+    return flow_engine.handle(CallerPacket(cases.segment(key, **fields)), now)
 
 
-def tick_for(made, start: float, seconds: float) -> list[Action]:
+def tick_for(flow_engine, start: float, seconds: float) -> list[Action]:
     steps = int(seconds * 10)
     return [
         action
         for step in range(1, steps + 1)
-        for action in made.handle(Tick(), start + step / 10)
+        for action in flow_engine.handle(Tick(), start + step / 10)
     ]
 
 
-def owned_key(made, protocol: int = 6) -> FlowKey:
+def owned_key(flow_engine, protocol: int = 6) -> FlowKey:
     keys = (cases.key_of(port, protocol) for port in range(99))
-    return next(key for key in keys if cases.owns(made, key))
+    return next(key for key in keys if cases.owns(flow_engine, key))
 
 
 @pytest.mark.parametrize(
@@ -71,47 +71,47 @@
     ],
 )
 def test_a_closed_key_stays_with_its_server(after, flags, expected) -> None:
-    made = cases.engine()
+    flow_engine = cases.engine()
     key = cases.key_of(1)
-    cases.open_flow(made, key)
-    send(made, key, SETTLED, flags=FLAG_RST, seq=100)
-    assert send(made, key, SETTLED + after, flags=flags, seq=7_000) == [expected]
+    cases.open_flow(flow_engine, key)
+    send(flow_engine, key, SETTLED, flags=FLAG_RST, seq=100)
+    assert send(flow_engine, key, SETTLED + after, flags=flags, seq=7_000) == [expected]
 
 
 def test_a_closed_key_is_placed_anew_after_quarantine() -> None:
-    made = cases.engine()
+    flow_engine = cases.engine()
     key = cases.key_of(1)
-    cases.open_flow(made, key)
+    cases.open_flow(flow_engine, key)
     fin = cases.segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
-    send(made, key, SETTLED, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
-    made.handle(ServerPacket(fin, SERVER), SETTLED)
+    send(flow_engine, key, SETTLED, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
+    flow_engine.handle(ServerPacket(fin, SERVER), SETTLED)
     later = SETTLED + 11
-    assert cases.kinds(send(made, key, later, flags=FLAG_SYN, seq=1)) == [
+    assert cases.kinds(send(flow_engine, key, later, flags=FLAG_SYN, seq=1)) == [
         "AskPlacement"
     ]
-    made.handle(FlowPlaced(key, SECOND), later)
-    slot = made.state.table.slots[key]
-    assert made.state.table.epochs[slot] == 2
+    flow_engine.handle(FlowPlaced(key, SECOND), later)
+    slot = flow_engine.state.table.slots[key]
+    assert flow_engine.state.table.epochs[slot] == 2
 
 
 def test_a_full_table_refuses_new_flows_and_keeps_open_ones() -> None:
-    made = cases.engine(settings=FlowSettings(flow_limit=1))
+    flow_engine = cases.engine(settings=FlowSettings(flow_limit=1))
     first, second = cases.key_of(1), cases.key_of(2)
-    cases.open_flow(made, first)
-    refused = send(made, second, SETTLED, flags=FLAG_SYN, seq=9)
+    cases.open_flow(flow_engine, first)
+    refused = send(flow_engine, second, SETTLED, flags=FLAG_SYN, seq=9)
     assert [action.reason for action in refused] == [Refusal.TABLE_FULL]
-    assert made.route_caller(first, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
+    assert flow_engine.route_caller(first, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
 
 
 def test_learned_records_are_bounded_and_spare_owned_ones() -> None:
-    made = cases.engine(settings=FlowSettings(learned_limit=3))
-    cases.open_flow(made, cases.key_of(1))
+    flow_engine = cases.engine(settings=FlowSettings(learned_limit=3))
+    cases.open_flow(flow_engine, cases.key_of(1))
     for port in range(2, 12):
         reply = cases.segment(cases.key_of(port), seq=5, ack=6, length=7)
-        made.handle(ServerPacket(reply, SERVER), SETTLED)
-    counts = made.state.table.role_counts
+        flow_engine.handle(ServerPacket(reply, SERVER), SETTLED)
+    counts = flow_engine.state.table.role_counts
     assert (counts[Role.LEARNED], counts[Role.OWNER]) == (3, 1)
-    assert cases.key_of(11) in made.state.table.slots
+    assert cases.key_of(11) in flow_engine.state.table.slots
 
 
 @pytest.mark.parametrize(
@@ -125,23 +125,26 @@
 def test_an_unknown_datagram_is_not_guessed_after_a_loss(
     lost, suspect, expected
 ) -> None:
-    made = cases.engine()
-    made.handle(ViewChanged(cases.vms("a", "c"), tuple(map(VmId, lost))), SETTLED)
-    key = owned_key(made, protocol=17)
-    [search] = send(made, key, SETTLED + 1, flags=0, length=9)
+    flow_engine = cases.engine()
+    flow_engine.handle(
+        ViewChanged(cases.vms("a", "c"), tuple(map(VmId, lost))), SETTLED
+    )
+    key = owned_key(flow_engine, protocol=17)
+    [search] = send(flow_engine, key, SETTLED + 1, flags=0, length=9)
     assert isinstance(search, SendToPeer)
     assert search.passing.stage == Stage.LOOKUP
     miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
     datagram = cases.segment(key, flags=0, length=9)
-    answer = made.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED + 1)
+    answer = flow_engine.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED + 1)
     assert cases.kinds(answer) == [expected]
 
 
 def test_an_unknown_connection_is_reset_after_two_misses() -> None:
-    made = cases.engine()
+    flow_engine = cases.engine()
     key = cases.key_of(1)
     outcomes = [
-        send(made, key, SETTLED + after, seq=5, ack=6) for after in (0.0, 1.0, 3.5)
+        send(flow_engine, key, SETTLED + after, seq=5, ack=6)
+        for after in (0.0, 1.0, 3.5)
     ]
     assert outcomes[:2] == [[Dropped(Refusal.VIEW_UNSETTLED)]] * 2
     assert isinstance(outcomes[2][0], ResetCaller)
@@ -159,31 +162,34 @@
     ],
 )
 def test_one_of_two_bindings_wins(here, there, server) -> None:
-    made = cases.engine()
+    flow_engine = cases.engine()
     key = cases.key_of(1)
     first = cases.segment(key, FLAG_SYN, seq=99)
     for binding in (here, there):
         store = Passing(Stage.STORE, 0, binding)
-        made.handle(PeerPacket(VmId("b"), store, first), SETTLED)
-    assert made.state.server_address_of(made.state.table.slots[key]) == server
+        flow_engine.handle(PeerPacket(VmId("b"), store, first), SETTLED)
+    assert (
+        flow_engine.state.server_address_of(flow_engine.state.table.slots[key])
+        == server
+    )
 
 
 def test_silent_flows_get_their_second_copy_within_the_budget() -> None:
-    made = cases.engine(settings=FlowSettings(repair_bytes_per_second=500.0))
+    flow_engine = cases.engine(settings=FlowSettings(repair_bytes_per_second=500.0))
     for port in range(60):
-        cases.open_flow(made, cases.key_of(port))
-    made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
-    made.state.ranking.ranked_vms = {
-        place: [VmId("a"), VmId("b")] for place in made.state.ranking.ranked_vms
+        cases.open_flow(flow_engine, cases.key_of(port))
+    flow_engine.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
+    flow_engine.state.ranking.ranked_vms = {
+        place: [VmId("a"), VmId("b")] for place in flow_engine.state.ranking.ranked_vms
     }
     batches = []
     for step in range(1, 101):
         now = SETTLED + 3 + step / 10
-        for action in made.handle(Tick(), now):
+        for action in flow_engine.handle(Tick(), now):
             if isinstance(action, SendMessage):
                 batches.append(action.message)
                 stored = BatchStored(action.message.batch_number)
-                made.handle(PeerMessage(action.vm, stored), now)
+                flow_engine.handle(PeerMessage(action.vm, stored), now)
     sizes = [len(FLOW_MESSAGES.encode(batch)) for batch in batches]
     assert sum(sizes) <= 500 * 10 + 500
     keys = [record.key for batch in batches for record in batch.records]
@@ -191,19 +197,19 @@
 
 
 def test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere() -> None:
-    made = cases.engine()
-    cases.open_flow(made, cases.key_of(1))
-    made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
-    made.handle(Leaving(), SETTLED)
-    unconfirmed = tick_for(made, SETTLED, 20.0)
+    flow_engine = cases.engine()
+    cases.open_flow(flow_engine, cases.key_of(1))
+    flow_engine.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
+    flow_engine.handle(Leaving(), SETTLED)
+    unconfirmed = tick_for(flow_engine, SETTLED, 20.0)
     assert not any(isinstance(action, Quiet) for action in unconfirmed)
-    made.state.table.backup_vms[0] = 0
-    batch = made.table_sweep.batch_exchange.unconfirmed_batches
+    flow_engine.state.table.backup_vms[0] = 0
+    batch = flow_engine.table_sweep.batch_exchange.unconfirmed_batches
     for step in range(300):
         now = SETTLED + 20 + step / 10
-        actions = made.handle(Tick(), now)
+        actions = flow_engine.handle(Tick(), now)
         for number in list(batch):
-            made.handle(PeerMessage(VmId("b"), BatchStored(number)), now)
+            flow_engine.handle(PeerMessage(VmId("b"), BatchStored(number)), now)
         if any(isinstance(action, Quiet) for action in actions):
             return
     raise AssertionError("never quiet")
@@ -212,24 +218,24 @@
 @pytest.mark.parametrize(("protocol", "status_seconds"), [(6, 14_400.0), (17, 30.0)])
 def test_idle_flows_expire_by_protocol(protocol: int, status_seconds: float) -> None:
     settings = FlowSettings(sweep_seconds=0.1, probes_per_second=0.0)
-    made = cases.engine(settings=settings)
+    flow_engine = cases.engine(settings=settings)
     key = cases.key_of(1, protocol)
     if protocol == 6:
-        cases.open_flow(made, key)
+        cases.open_flow(flow_engine, key)
     else:
-        send(made, key, SETTLED, flags=0, length=4)
-        made.handle(FlowPlaced(key, SERVER), SETTLED)
-    tick_for(made, SETTLED + status_seconds - 3, 2.0)
-    assert key in made.state.table.slots
-    tick_for(made, SETTLED + status_seconds, 2.0)
-    assert key not in made.state.table.slots
+        send(flow_engine, key, SETTLED, flags=0, length=4)
+        flow_engine.handle(FlowPlaced(key, SERVER), SETTLED)
+    tick_for(flow_engine, SETTLED + status_seconds - 3, 2.0)
+    assert key in flow_engine.state.table.slots
+    tick_for(flow_engine, SETTLED + status_seconds, 2.0)
+    assert key not in flow_engine.state.table.slots
 
 
 def test_batches_survive_the_codec() -> None:
-    made = cases.engine()
-    cases.open_flow(made, cases.key_of(1))
-    record = made.table_sweep.batch_exchange.build_record(
-        made.state.table.slots[cases.key_of(1)], SETTLED
+    flow_engine = cases.engine()
+    cases.open_flow(flow_engine, cases.key_of(1))
+    record = flow_engine.table_sweep.batch_exchange.build_record(
+        flow_engine.state.table.slots[cases.key_of(1)], SETTLED
     )
     batch = RecordBatch(1, (record,))
     assert FLOW_MESSAGES.decode(FLOW_MESSAGES.encode(batch)).ok == batch
@@ -241,8 +247,8 @@
         fields = (draw.choice((100, 90, 150)), draw.choice((500, 9)), draw.randrange(2))
         fast, slow = cases.engine(), cases.engine()
         key = cases.key_of(1)
-        for made in (fast, slow):
-            cases.open_flow(made, key)
+        for flow_engine in (fast, slow):
+            cases.open_flow(flow_engine, key)
         server = fast.route_caller(
             key, FLAG_ACK, fields[0], fields[1], fields[2], 101.0
         )
@@ -255,17 +261,18 @@
 @pytest.mark.parametrize(("first", "is_repeated"), [("a", True), ("b", False)])
 def test_a_reset_is_repeated_only_by_the_owner(first, is_repeated) -> None:
     """A VM that took a flow for silent in a cut leaves it to its owner afterwards."""
-    made = cases.engine()
+    flow_engine = cases.engine()
     key = cases.key_of(1)
-    cases.open_flow(made, key)
-    made.silence_detector.close_reset_flow(
-        made.state.table.slots[key], Refusal.SILENT, SETTLED
+    cases.open_flow(flow_engine, key)
+    flow_engine.silence_detector.close_reset_flow(
+        flow_engine.state.table.slots[key], Refusal.SILENT, SETTLED
     )
-    made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
+    flow_engine.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
     second = "b" if first == "a" else "a"
-    made.state.ranking.ranked_vms = {
-        place: [VmId(first), VmId(second)] for place in made.state.ranking.ranked_vms
+    flow_engine.state.ranking.ranked_vms = {
+        place: [VmId(first), VmId(second)]
+        for place in flow_engine.state.ranking.ranked_vms
     }
-    actions = tick_for(made, SETTLED, 5.0)
+    actions = tick_for(flow_engine, SETTLED, 5.0)
     resets = [one for one in actions if isinstance(one, ResetCaller)]
     assert bool(resets) == is_repeated
