Rename cases to engine_tests

It is the module test_engine. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -36,16 +36,16 @@
 from kumquatmux_flows.table import Role
 
 _spec = importlib.util.spec_from_file_location(
-    "engine_cases", Path(__file__).with_name("test_engine.py")
+    "engine_tests", Path(__file__).with_name("test_engine.py")
 )
 assert _spec is not None and _spec.loader is not None
-cases = importlib.util.module_from_spec(_spec)
-_spec.loader.exec_module(cases)
-SERVER, SECOND, SETTLED = cases.SERVER, cases.SECOND, cases.SETTLED
+engine_tests = importlib.util.module_from_spec(_spec)
+_spec.loader.exec_module(engine_tests)
+SERVER, SECOND, SETTLED = engine_tests.SERVER, engine_tests.SECOND, engine_tests.SETTLED
 
 
 def send(flow_engine, key: FlowKey, now: float, **fields) -> list[Action]:
-    return flow_engine.handle(CallerPacket(cases.segment(key, **fields)), now)
+    return flow_engine.handle(CallerPacket(engine_tests.segment(key, **fields)), now)
 
 
 def tick_for(flow_engine, start: float, seconds: float) -> list[Action]:
@@ -58,8 +58,8 @@
 
 
 def owned_key(flow_engine, protocol: int = 6) -> FlowKey:
-    keys = (cases.key_of(port, protocol) for port in range(99))
-    return next(key for key in keys if cases.owns(flow_engine, key))
+    keys = (engine_tests.key_of(port, protocol) for port in range(99))
+    return next(key for key in keys if engine_tests.owns(flow_engine, key))
 
 
 @pytest.mark.parametrize(
@@ -71,22 +71,22 @@
     ],
 )
 def test_a_closed_key_stays_with_its_server(after, flags, expected) -> None:
-    flow_engine = cases.engine()
-    key = cases.key_of(1)
-    cases.open_flow(flow_engine, key)
+    flow_engine = engine_tests.engine()
+    key = engine_tests.key_of(1)
+    engine_tests.open_flow(flow_engine, key)
     send(flow_engine, key, SETTLED, flags=FLAG_RST, seq=100)
     assert send(flow_engine, key, SETTLED + after, flags=flags, seq=7_000) == [expected]
 
 
 def test_a_closed_key_is_placed_anew_after_quarantine() -> None:
-    flow_engine = cases.engine()
-    key = cases.key_of(1)
-    cases.open_flow(flow_engine, key)
-    fin = cases.segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
+    flow_engine = engine_tests.engine()
+    key = engine_tests.key_of(1)
+    engine_tests.open_flow(flow_engine, key)
+    fin = engine_tests.segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
     send(flow_engine, key, SETTLED, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
     flow_engine.handle(ServerPacket(fin, SERVER), SETTLED)
     later = SETTLED + 11
-    assert cases.kinds(send(flow_engine, key, later, flags=FLAG_SYN, seq=1)) == [
+    assert engine_tests.kinds(send(flow_engine, key, later, flags=FLAG_SYN, seq=1)) == [
         "AskPlacement"
     ]
     flow_engine.handle(FlowPlaced(key, SECOND), later)
@@ -95,23 +95,23 @@
 
 
 def test_a_full_table_refuses_new_flows_and_keeps_open_ones() -> None:
-    flow_engine = cases.engine(settings=FlowSettings(flow_limit=1))
-    first, second = cases.key_of(1), cases.key_of(2)
-    cases.open_flow(flow_engine, first)
+    flow_engine = engine_tests.engine(settings=FlowSettings(flow_limit=1))
+    first, second = engine_tests.key_of(1), engine_tests.key_of(2)
+    engine_tests.open_flow(flow_engine, first)
     refused = send(flow_engine, second, SETTLED, flags=FLAG_SYN, seq=9)
     assert [action.reason for action in refused] == [Refusal.TABLE_FULL]
     assert flow_engine.route_caller(first, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
 
 
 def test_learned_records_are_bounded_and_spare_owned_ones() -> None:
-    flow_engine = cases.engine(settings=FlowSettings(learned_limit=3))
-    cases.open_flow(flow_engine, cases.key_of(1))
+    flow_engine = engine_tests.engine(settings=FlowSettings(learned_limit=3))
+    engine_tests.open_flow(flow_engine, engine_tests.key_of(1))
     for port in range(2, 12):
-        reply = cases.segment(cases.key_of(port), seq=5, ack=6, length=7)
+        reply = engine_tests.segment(engine_tests.key_of(port), seq=5, ack=6, length=7)
         flow_engine.handle(ServerPacket(reply, SERVER), SETTLED)
     counts = flow_engine.state.table.role_counts
     assert (counts[Role.LEARNED], counts[Role.OWNER]) == (3, 1)
-    assert cases.key_of(11) in flow_engine.state.table.slots
+    assert engine_tests.key_of(11) in flow_engine.state.table.slots
 
 
 @pytest.mark.parametrize(
@@ -125,23 +125,23 @@
 def test_an_unknown_datagram_is_not_guessed_after_a_loss(
     lost, suspect, expected
 ) -> None:
-    flow_engine = cases.engine()
+    flow_engine = engine_tests.engine()
     flow_engine.handle(
-        ViewChanged(cases.vms("a", "c"), tuple(map(VmId, lost))), SETTLED
+        ViewChanged(engine_tests.vms("a", "c"), tuple(map(VmId, lost))), SETTLED
     )
     key = owned_key(flow_engine, protocol=17)
     [search] = send(flow_engine, key, SETTLED + 1, flags=0, length=9)
     assert isinstance(search, SendToPeer)
     assert search.passing.stage == Stage.LOOKUP
     miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
-    datagram = cases.segment(key, flags=0, length=9)
+    datagram = engine_tests.segment(key, flags=0, length=9)
     answer = flow_engine.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED + 1)
-    assert cases.kinds(answer) == [expected]
+    assert engine_tests.kinds(answer) == [expected]
 
 
 def test_an_unknown_connection_is_reset_after_two_misses() -> None:
-    flow_engine = cases.engine()
-    key = cases.key_of(1)
+    flow_engine = engine_tests.engine()
+    key = engine_tests.key_of(1)
     outcomes = [
         send(flow_engine, key, SETTLED + after, seq=5, ack=6)
         for after in (0.0, 1.0, 3.5)
@@ -162,9 +162,9 @@
     ],
 )
 def test_one_of_two_bindings_wins(here, there, server) -> None:
-    flow_engine = cases.engine()
-    key = cases.key_of(1)
-    first = cases.segment(key, FLAG_SYN, seq=99)
+    flow_engine = engine_tests.engine()
+    key = engine_tests.key_of(1)
+    first = engine_tests.segment(key, FLAG_SYN, seq=99)
     for binding in (here, there):
         store = Passing(Stage.STORE, 0, binding)
         flow_engine.handle(PeerPacket(VmId("b"), store, first), SETTLED)
@@ -175,10 +175,12 @@
 
 
 def test_silent_flows_get_their_second_copy_within_the_budget() -> None:
-    flow_engine = cases.engine(settings=FlowSettings(repair_bytes_per_second=500.0))
+    flow_engine = engine_tests.engine(
+        settings=FlowSettings(repair_bytes_per_second=500.0)
+    )
     for port in range(60):
-        cases.open_flow(flow_engine, cases.key_of(port))
-    flow_engine.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
+        engine_tests.open_flow(flow_engine, engine_tests.key_of(port))
+    flow_engine.handle(ViewChanged(engine_tests.vms("a", "b")), SETTLED)
     flow_engine.state.ranking.ranked_vms = {
         place: [VmId("a"), VmId("b")] for place in flow_engine.state.ranking.ranked_vms
     }
@@ -197,9 +199,9 @@
 
 
 def test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere() -> None:
-    flow_engine = cases.engine()
-    cases.open_flow(flow_engine, cases.key_of(1))
-    flow_engine.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
+    flow_engine = engine_tests.engine()
+    engine_tests.open_flow(flow_engine, engine_tests.key_of(1))
+    flow_engine.handle(ViewChanged(engine_tests.vms("a", "b")), SETTLED)
     flow_engine.handle(Leaving(), SETTLED)
     unconfirmed = tick_for(flow_engine, SETTLED, 20.0)
     assert not any(isinstance(action, Quiet) for action in unconfirmed)
@@ -218,10 +220,10 @@
 @pytest.mark.parametrize(("protocol", "status_seconds"), [(6, 14_400.0), (17, 30.0)])
 def test_idle_flows_expire_by_protocol(protocol: int, status_seconds: float) -> None:
     settings = FlowSettings(sweep_seconds=0.1, probes_per_second=0.0)
-    flow_engine = cases.engine(settings=settings)
-    key = cases.key_of(1, protocol)
+    flow_engine = engine_tests.engine(settings=settings)
+    key = engine_tests.key_of(1, protocol)
     if protocol == 6:
-        cases.open_flow(flow_engine, key)
+        engine_tests.open_flow(flow_engine, key)
     else:
         send(flow_engine, key, SETTLED, flags=0, length=4)
         flow_engine.handle(FlowPlaced(key, SERVER), SETTLED)
@@ -232,10 +234,10 @@
 
 
 def test_batches_survive_the_codec() -> None:
-    flow_engine = cases.engine()
-    cases.open_flow(flow_engine, cases.key_of(1))
+    flow_engine = engine_tests.engine()
+    engine_tests.open_flow(flow_engine, engine_tests.key_of(1))
     record = flow_engine.table_sweep.batch_exchange.build_record(
-        flow_engine.state.table.slots[cases.key_of(1)], SETTLED
+        flow_engine.state.table.slots[engine_tests.key_of(1)], SETTLED
     )
     batch = RecordBatch(1, (record,))
     assert FLOW_MESSAGES.decode(FLOW_MESSAGES.encode(batch)).ok == batch
@@ -245,10 +247,10 @@
     draw = random.Random(5)
     for _ in range(300):
         fields = (draw.choice((100, 90, 150)), draw.choice((500, 9)), draw.randrange(2))
-        fast, slow = cases.engine(), cases.engine()
-        key = cases.key_of(1)
+        fast, slow = engine_tests.engine(), engine_tests.engine()
+        key = engine_tests.key_of(1)
         for flow_engine in (fast, slow):
-            cases.open_flow(flow_engine, key)
+            engine_tests.open_flow(flow_engine, key)
         server = fast.route_caller(
             key, FLAG_ACK, fields[0], fields[1], fields[2], 101.0
         )
@@ -261,13 +263,13 @@
 @pytest.mark.parametrize(("first", "is_repeated"), [("a", True), ("b", False)])
 def test_a_reset_is_repeated_only_by_the_owner(first, is_repeated) -> None:
     """A VM that took a flow for silent in a cut leaves it to its owner afterwards."""
-    flow_engine = cases.engine()
-    key = cases.key_of(1)
-    cases.open_flow(flow_engine, key)
+    flow_engine = engine_tests.engine()
+    key = engine_tests.key_of(1)
+    engine_tests.open_flow(flow_engine, key)
     flow_engine.silence_detector.close_reset_flow(
         flow_engine.state.table.slots[key], Refusal.SILENT, SETTLED
     )
-    flow_engine.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
+    flow_engine.handle(ViewChanged(engine_tests.vms("a", "b")), SETTLED)
     second = "b" if first == "a" else "a"
     flow_engine.state.ranking.ranked_vms = {
         place: [VmId(first), VmId(second)]
