Rename key_of to make_flow_key

It makes a flow key. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -46,7 +46,7 @@
 SETTINGS = FlowSettings()
 
 
-def key_of(port: int, protocol: int = 6, service: bytes = SERVICE) -> FlowKey:
+def make_flow_key(port: int, protocol: int = 6, service: bytes = SERVICE) -> FlowKey:
     caller = Endpoint("127.66.0.9", port).packed
     return FlowKey(
         bytes((protocol,)) + caller[:4] + service[:4] + caller[4:] + service[4:]
@@ -98,7 +98,7 @@
 
 def test_places_a_first_packet_once() -> None:
     flow_engine = engine()
-    key = key_of(1)
+    key = make_flow_key(1)
     syn = CallerPacket(segment(key, FLAG_SYN, seq=99))
     assert flow_engine.handle(syn, SETTLED) == [AskPlacement(key, ENTRIES)]
     assert flow_engine.handle(syn, SETTLED) == [Dropped(Refusal.DUPLICATE_FIRST_PACKET)]
@@ -111,7 +111,7 @@
 
 def test_refusal_reaches_the_caller_and_no_server() -> None:
     flow_engine = engine()
-    key = key_of(1)
+    key = make_flow_key(1)
     first = segment(key, FLAG_SYN, seq=99)
     flow_engine.handle(CallerPacket(first), SETTLED)
     actions = flow_engine.handle(FlowRefused(key, "busy"), SETTLED)
@@ -120,7 +120,7 @@
 
 def test_caller_reset_cancels_a_held_flow() -> None:
     flow_engine = engine()
-    key = key_of(1)
+    key = make_flow_key(1)
     flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
     reset = CallerPacket(segment(key, FLAG_RST, seq=100))
     assert flow_engine.handle(reset, SETTLED) == [CancelPlacement(key)]
@@ -131,7 +131,7 @@
 
 def test_counts_work_by_unanswered_bytes() -> None:
     flow_engine = engine()
-    key = key_of(1)
+    key = make_flow_key(1)
     open_flow(flow_engine, key)
     assert flow_engine.handle(Tick(), SETTLED + 2) == [WorkAnswered(key, SERVER)]
     assert flow_engine.route_caller(key, FLAG_ACK, 100, 500, 40, SETTLED + 3) == SERVER
@@ -144,7 +144,7 @@
 
 def test_first_packet_passes_owner_and_backup_before_the_server() -> None:
     names = ("a", "b", "c")
-    key = key_of(1)
+    key = make_flow_key(1)
     engines = {name: engine(name) for name in names}
     for flow_engine in engines.values():
         flow_engine.handle(ViewChanged(vms(*names)), 0.0)
@@ -173,7 +173,7 @@
     announced: ServiceName | None, reaches: bool
 ) -> None:
     flow_engine = engine()
-    key = key_of(1)
+    key = make_flow_key(1)
     open_flow(flow_engine, key)
     servers = () if announced is None else (ServerRoute(SERVER, announced),)
     flow_engine.handle(routes(*servers, revision=2), SETTLED)
@@ -188,7 +188,7 @@
 
 def test_new_flow_is_not_bound_to_a_server_that_is_gone() -> None:
     flow_engine = engine()
-    key = key_of(1)
+    key = make_flow_key(1)
     flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
     flow_engine.handle(routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
     assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
@@ -204,7 +204,7 @@
 
 def test_reply_of_another_server_is_dropped() -> None:
     flow_engine = engine()
-    key = key_of(1)
+    key = make_flow_key(1)
     open_flow(flow_engine, key)
     reply = segment(key, seq=500, ack=100, length=9)
     crossed = flow_engine.handle(ServerPacket(reply, SECOND), SETTLED)
@@ -217,7 +217,11 @@
 def test_a_half_open_flow_goes_on_when_a_peer_names_the_same_server() -> None:
     flow_engine = engine()
     flow_engine.handle(ViewChanged(vms("a", "b")), 0.0)
-    key = next(key_of(port) for port in range(9) if owns(flow_engine, key_of(port)))
+    key = next(
+        make_flow_key(port)
+        for port in range(9)
+        if owns(flow_engine, make_flow_key(port))
+    )
     flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
     flow_engine.handle(FlowPlaced(key, SERVER), SETTLED)
     unseen_answer = segment(key, seq=100, ack=500, length=20)
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -58,7 +58,7 @@
 
 
 def owned_key(flow_engine, protocol: int = 6) -> FlowKey:
-    keys = (engine_tests.key_of(port, protocol) for port in range(99))
+    keys = (engine_tests.make_flow_key(port, protocol) for port in range(99))
     return next(key for key in keys if engine_tests.owns(flow_engine, key))
 
 
@@ -72,7 +72,7 @@
 )
 def test_a_closed_key_stays_with_its_server(after, flags, expected) -> None:
     flow_engine = engine_tests.engine()
-    key = engine_tests.key_of(1)
+    key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     send(flow_engine, key, SETTLED, flags=FLAG_RST, seq=100)
     assert send(flow_engine, key, SETTLED + after, flags=flags, seq=7_000) == [expected]
@@ -80,7 +80,7 @@
 
 def test_a_closed_key_is_placed_anew_after_quarantine() -> None:
     flow_engine = engine_tests.engine()
-    key = engine_tests.key_of(1)
+    key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     fin = engine_tests.segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
     send(flow_engine, key, SETTLED, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
@@ -96,7 +96,7 @@
 
 def test_a_full_table_refuses_new_flows_and_keeps_open_ones() -> None:
     flow_engine = engine_tests.engine(settings=FlowSettings(flow_limit=1))
-    first, second = engine_tests.key_of(1), engine_tests.key_of(2)
+    first, second = engine_tests.make_flow_key(1), engine_tests.make_flow_key(2)
     engine_tests.open_flow(flow_engine, first)
     refused = send(flow_engine, second, SETTLED, flags=FLAG_SYN, seq=9)
     assert [action.reason for action in refused] == [Refusal.TABLE_FULL]
@@ -105,13 +105,15 @@
 
 def test_learned_records_are_bounded_and_spare_owned_ones() -> None:
     flow_engine = engine_tests.engine(settings=FlowSettings(learned_limit=3))
-    engine_tests.open_flow(flow_engine, engine_tests.key_of(1))
+    engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     for port in range(2, 12):
-        reply = engine_tests.segment(engine_tests.key_of(port), seq=5, ack=6, length=7)
+        reply = engine_tests.segment(
+            engine_tests.make_flow_key(port), seq=5, ack=6, length=7
+        )
         flow_engine.handle(ServerPacket(reply, SERVER), SETTLED)
     counts = flow_engine.state.table.role_counts
     assert (counts[Role.LEARNED], counts[Role.OWNER]) == (3, 1)
-    assert engine_tests.key_of(11) in flow_engine.state.table.slots
+    assert engine_tests.make_flow_key(11) in flow_engine.state.table.slots
 
 
 @pytest.mark.parametrize(
@@ -141,7 +143,7 @@
 
 def test_an_unknown_connection_is_reset_after_two_misses() -> None:
     flow_engine = engine_tests.engine()
-    key = engine_tests.key_of(1)
+    key = engine_tests.make_flow_key(1)
     outcomes = [
         send(flow_engine, key, SETTLED + after, seq=5, ack=6)
         for after in (0.0, 1.0, 3.5)
@@ -163,7 +165,7 @@
 )
 def test_one_of_two_bindings_wins(here, there, server) -> None:
     flow_engine = engine_tests.engine()
-    key = engine_tests.key_of(1)
+    key = engine_tests.make_flow_key(1)
     first = engine_tests.segment(key, FLAG_SYN, seq=99)
     for binding in (here, there):
         store = Passing(Stage.STORE, 0, binding)
@@ -179,7 +181,7 @@
         settings=FlowSettings(repair_bytes_per_second=500.0)
     )
     for port in range(60):
-        engine_tests.open_flow(flow_engine, engine_tests.key_of(port))
+        engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(port))
     flow_engine.handle(ViewChanged(engine_tests.vms("a", "b")), SETTLED)
     flow_engine.state.ranking.ranked_vms = {
         place: [VmId("a"), VmId("b")] for place in flow_engine.state.ranking.ranked_vms
@@ -200,7 +202,7 @@
 
 def test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere() -> None:
     flow_engine = engine_tests.engine()
-    engine_tests.open_flow(flow_engine, engine_tests.key_of(1))
+    engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     flow_engine.handle(ViewChanged(engine_tests.vms("a", "b")), SETTLED)
     flow_engine.handle(Leaving(), SETTLED)
     unconfirmed = tick_for(flow_engine, SETTLED, 20.0)
@@ -221,7 +223,7 @@
 def test_idle_flows_expire_by_protocol(protocol: int, status_seconds: float) -> None:
     settings = FlowSettings(sweep_seconds=0.1, probes_per_second=0.0)
     flow_engine = engine_tests.engine(settings=settings)
-    key = engine_tests.key_of(1, protocol)
+    key = engine_tests.make_flow_key(1, protocol)
     if protocol == 6:
         engine_tests.open_flow(flow_engine, key)
     else:
@@ -235,9 +237,9 @@
 
 def test_batches_survive_the_codec() -> None:
     flow_engine = engine_tests.engine()
-    engine_tests.open_flow(flow_engine, engine_tests.key_of(1))
+    engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     record = flow_engine.table_sweep.batch_exchange.build_record(
-        flow_engine.state.table.slots[engine_tests.key_of(1)], SETTLED
+        flow_engine.state.table.slots[engine_tests.make_flow_key(1)], SETTLED
     )
     batch = RecordBatch(1, (record,))
     assert FLOW_MESSAGES.decode(FLOW_MESSAGES.encode(batch)).ok == batch
@@ -248,7 +250,7 @@
     for _ in range(300):
         fields = (draw.choice((100, 90, 150)), draw.choice((500, 9)), draw.randrange(2))
         fast, slow = engine_tests.engine(), engine_tests.engine()
-        key = engine_tests.key_of(1)
+        key = engine_tests.make_flow_key(1)
         for flow_engine in (fast, slow):
             engine_tests.open_flow(flow_engine, key)
         server = fast.route_caller(
@@ -264,7 +266,7 @@
 def test_a_reset_is_repeated_only_by_the_owner(first, is_repeated) -> None:
     """A VM that took a flow for silent in a cut leaves it to its owner afterwards."""
     flow_engine = engine_tests.engine()
-    key = engine_tests.key_of(1)
+    key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     flow_engine.silence_detector.close_reset_flow(
         flow_engine.state.table.slots[key], Refusal.SILENT, SETTLED
