--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -53,7 +53,7 @@
     )
 
 
-def segment(
+def make_segment(
     key: FlowKey, flags: int = FLAG_ACK, seq: int = 0, ack: int = 0, length: int = 0
 ) -> Segment:
     return Segment(key, flags, seq, ack, length, b"packet")
@@ -85,11 +85,11 @@
 
 def open_flow(flow_engine: FlowEngine, key: FlowKey, now: float = SETTLED) -> None:
     """Place a flow, alone in view, and finish its handshake."""
-    flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), now)
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), now)
     flow_engine.handle(FlowPlaced(key, SERVER), now)
-    answer = segment(key, FLAG_SYN | FLAG_ACK, seq=499, ack=100)
+    answer = make_segment(key, FLAG_SYN | FLAG_ACK, seq=499, ack=100)
     flow_engine.handle(ServerPacket(answer, SERVER), now)
-    flow_engine.handle(CallerPacket(segment(key, seq=100, ack=500)), now)
+    flow_engine.handle(CallerPacket(make_segment(key, seq=100, ack=500)), now)
 
 
 def kinds(actions: list) -> list[str]:
@@ -99,7 +99,7 @@
 def test_places_a_first_packet_once() -> None:
     flow_engine = engine()
     key = make_flow_key(1)
-    syn = CallerPacket(segment(key, FLAG_SYN, seq=99))
+    syn = CallerPacket(make_segment(key, FLAG_SYN, seq=99))
     assert flow_engine.handle(syn, SETTLED) == [AskPlacement(key, ENTRIES)]
     assert flow_engine.handle(syn, SETTLED) == [Dropped(Refusal.DUPLICATE_FIRST_PACKET)]
     assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
@@ -112,7 +112,7 @@
 def test_refusal_reaches_the_caller_and_no_server() -> None:
     flow_engine = engine()
     key = make_flow_key(1)
-    first = segment(key, FLAG_SYN, seq=99)
+    first = make_segment(key, FLAG_SYN, seq=99)
     flow_engine.handle(CallerPacket(first), SETTLED)
     actions = flow_engine.handle(FlowRefused(key, "busy"), SETTLED)
     assert actions == [ResetCaller(first, "busy")]
@@ -121,8 +121,8 @@
 def test_caller_reset_cancels_a_held_flow() -> None:
     flow_engine = engine()
     key = make_flow_key(1)
-    flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
-    reset = CallerPacket(segment(key, FLAG_RST, seq=100))
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
+    reset = CallerPacket(make_segment(key, FLAG_RST, seq=100))
     assert flow_engine.handle(reset, SETTLED) == [CancelPlacement(key)]
     assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
         FlowClosed(key, SERVER)
@@ -149,7 +149,7 @@
     for flow_engine in engines.values():
         flow_engine.handle(ViewChanged(vms(*names)), 0.0)
     rank = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
-    first = segment(key, FLAG_SYN, seq=99)
+    first = make_segment(key, FLAG_SYN, seq=99)
     ingress, owner, backup = engines[rank[2]], engines[rank[0]], engines[rank[1]]
     (passed,) = ingress.handle(CallerPacket(first), SETTLED)
     assert isinstance(passed, SendToPeer)
@@ -180,7 +180,7 @@
     assert (
         flow_engine.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
     ) == reaches
-    late = segment(key, seq=105, ack=500, length=5)
+    late = make_segment(key, seq=105, ack=500, length=5)
     actions = kinds(flow_engine.handle(CallerPacket(late), SETTLED))
     assert ("SendToServer" in actions) == reaches
     assert ("ResetCaller" in actions) != reaches
@@ -189,7 +189,7 @@
 def test_new_flow_is_not_bound_to_a_server_that_is_gone() -> None:
     flow_engine = engine()
     key = make_flow_key(1)
-    flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
     flow_engine.handle(routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
     assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
         FlowClosed(key, SERVER),
@@ -206,7 +206,7 @@
     flow_engine = engine()
     key = make_flow_key(1)
     open_flow(flow_engine, key)
-    reply = segment(key, seq=500, ack=100, length=9)
+    reply = make_segment(key, seq=500, ack=100, length=9)
     crossed = flow_engine.handle(ServerPacket(reply, SECOND), SETTLED)
     assert crossed == [Dropped(Refusal.REPLY_CROSSED)]
     assert flow_engine.handle(ServerPacket(reply, SERVER), SETTLED)[-1] == SendToCaller(
@@ -222,9 +222,9 @@
         for port in range(9)
         if owns(flow_engine, make_flow_key(port))
     )
-    flow_engine.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
     flow_engine.handle(FlowPlaced(key, SERVER), SETTLED)
-    unseen_answer = segment(key, seq=100, ack=500, length=20)
+    unseen_answer = make_segment(key, seq=100, ack=500, length=20)
     [search] = flow_engine.handle(CallerPacket(unseen_answer), SETTLED)
     assert search.passing.stage == Stage.LOOKUP
     adopt = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -45,7 +45,9 @@
 
 
 def send(flow_engine, key: FlowKey, now: float, **fields) -> list[Action]:
-    return flow_engine.handle(CallerPacket(engine_tests.segment(key, **fields)), now)
+    return flow_engine.handle(
+        CallerPacket(engine_tests.make_segment(key, **fields)), now
+    )
 
 
 def tick_for(flow_engine, start: float, seconds: float) -> list[Action]:
@@ -82,7 +84,7 @@
     flow_engine = engine_tests.engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
-    fin = engine_tests.segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
+    fin = engine_tests.make_segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
     send(flow_engine, key, SETTLED, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
     flow_engine.handle(ServerPacket(fin, SERVER), SETTLED)
     later = SETTLED + 11
@@ -107,7 +109,7 @@
     flow_engine = engine_tests.engine(settings=FlowSettings(learned_limit=3))
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     for port in range(2, 12):
-        reply = engine_tests.segment(
+        reply = engine_tests.make_segment(
             engine_tests.make_flow_key(port), seq=5, ack=6, length=7
         )
         flow_engine.handle(ServerPacket(reply, SERVER), SETTLED)
@@ -136,7 +138,7 @@
     assert isinstance(search, SendToPeer)
     assert search.passing.stage == Stage.LOOKUP
     miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
-    datagram = engine_tests.segment(key, flags=0, length=9)
+    datagram = engine_tests.make_segment(key, flags=0, length=9)
     answer = flow_engine.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED + 1)
     assert engine_tests.kinds(answer) == [expected]
 
@@ -166,7 +168,7 @@
 def test_one_of_two_bindings_wins(here, there, server) -> None:
     flow_engine = engine_tests.engine()
     key = engine_tests.make_flow_key(1)
-    first = engine_tests.segment(key, FLAG_SYN, seq=99)
+    first = engine_tests.make_segment(key, FLAG_SYN, seq=99)
     for binding in (here, there):
         store = Passing(Stage.STORE, 0, binding)
         flow_engine.handle(PeerPacket(VmId("b"), store, first), SETTLED)
