--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -59,7 +59,7 @@
     return Segment(key, flags, seq, ack, length, b"packet")
 
 
-def routes(
+def make_routes(
     *servers: ServerRoute, revision: int = 1, protocols: tuple[int, ...] = (6, 17)
 ) -> RoutesChanged:
     services = tuple(
@@ -79,7 +79,7 @@
 def engine(vm: str = "a", settings: FlowSettings = SETTINGS) -> FlowEngine:
     flow_engine = FlowEngine(VmId(vm), settings, random.Random(1))
     entries = ServerRoute(SERVER, ENTRIES), ServerRoute(SECOND, ENTRIES)
-    flow_engine.handle(routes(*entries), 0.0)
+    flow_engine.handle(make_routes(*entries), 0.0)
     return flow_engine
 
 
@@ -176,7 +176,7 @@
     key = make_flow_key(1)
     open_flow(flow_engine, key)
     servers = () if announced is None else (ServerRoute(SERVER, announced),)
-    flow_engine.handle(routes(*servers, revision=2), SETTLED)
+    flow_engine.handle(make_routes(*servers, revision=2), SETTLED)
     assert (
         flow_engine.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
     ) == reaches
@@ -190,7 +190,7 @@
     flow_engine = engine()
     key = make_flow_key(1)
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
-    flow_engine.handle(routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
+    flow_engine.handle(make_routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
     assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
         FlowClosed(key, SERVER),
         RefreshRoute(Refusal.SERVER_GONE, ENTRIES, SERVER),
