--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -70,7 +70,7 @@
     return RoutesChanged(revision, services, servers)
 
 
-def vms(*names: str) -> tuple[Vm, ...]:
+def make_vms(*names: str) -> tuple[Vm, ...]:
     endpoint = Endpoint("127.0.0.1", 1)
     zone = ZoneName("cnx-a")
     return tuple(Vm(VmId(name), zone, endpoint, endpoint) for name in names)
@@ -147,7 +147,7 @@
     key = make_flow_key(1)
     engines = {name: engine(name) for name in names}
     for flow_engine in engines.values():
-        flow_engine.handle(ViewChanged(vms(*names)), 0.0)
+        flow_engine.handle(ViewChanged(make_vms(*names)), 0.0)
     rank = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
     first = make_segment(key, FLAG_SYN, seq=99)
     ingress, owner, backup = engines[rank[2]], engines[rank[0]], engines[rank[1]]
@@ -216,7 +216,7 @@
 
 def test_a_half_open_flow_goes_on_when_a_peer_names_the_same_server() -> None:
     flow_engine = engine()
-    flow_engine.handle(ViewChanged(vms("a", "b")), 0.0)
+    flow_engine.handle(ViewChanged(make_vms("a", "b")), 0.0)
     key = next(
         make_flow_key(port)
         for port in range(9)
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -131,7 +131,7 @@
 ) -> None:
     flow_engine = engine_tests.engine()
     flow_engine.handle(
-        ViewChanged(engine_tests.vms("a", "c"), tuple(map(VmId, lost))), SETTLED
+        ViewChanged(engine_tests.make_vms("a", "c"), tuple(map(VmId, lost))), SETTLED
     )
     key = owned_key(flow_engine, protocol=17)
     [search] = send(flow_engine, key, SETTLED + 1, flags=0, length=9)
@@ -184,7 +184,7 @@
     )
     for port in range(60):
         engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(port))
-    flow_engine.handle(ViewChanged(engine_tests.vms("a", "b")), SETTLED)
+    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED)
     flow_engine.state.ranking.ranked_vms = {
         place: [VmId("a"), VmId("b")] for place in flow_engine.state.ranking.ranked_vms
     }
@@ -205,7 +205,7 @@
 def test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere() -> None:
     flow_engine = engine_tests.engine()
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
-    flow_engine.handle(ViewChanged(engine_tests.vms("a", "b")), SETTLED)
+    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED)
     flow_engine.handle(Leaving(), SETTLED)
     unconfirmed = tick_for(flow_engine, SETTLED, 20.0)
     assert not any(isinstance(action, Quiet) for action in unconfirmed)
@@ -273,7 +273,7 @@
     flow_engine.silence_detector.close_reset_flow(
         flow_engine.state.table.slots[key], Refusal.SILENT, SETTLED
     )
-    flow_engine.handle(ViewChanged(engine_tests.vms("a", "b")), SETTLED)
+    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED)
     second = "b" if first == "a" else "a"
     flow_engine.state.ranking.ranked_vms = {
         place: [VmId(first), VmId(second)]
