Rename engine to make_engine

It makes a flow engine. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -76,7 +76,7 @@
     return tuple(Vm(VmId(name), zone, endpoint, endpoint) for name in names)
 
 
-def engine(vm: str = "a", settings: FlowSettings = SETTINGS) -> FlowEngine:
+def make_engine(vm: str = "a", settings: FlowSettings = SETTINGS) -> FlowEngine:
     flow_engine = FlowEngine(VmId(vm), settings, random.Random(1))
     entries = ServerRoute(SERVER, ENTRIES), ServerRoute(SECOND, ENTRIES)
     flow_engine.handle(make_routes(*entries), 0.0)
@@ -97,7 +97,7 @@
 
 
 def test_places_a_first_packet_once() -> None:
-    flow_engine = engine()
+    flow_engine = make_engine()
     key = make_flow_key(1)
     syn = CallerPacket(make_segment(key, FLAG_SYN, seq=99))
     assert flow_engine.handle(syn, SETTLED) == [AskPlacement(key, ENTRIES)]
@@ -110,7 +110,7 @@
 
 
 def test_refusal_reaches_the_caller_and_no_server() -> None:
-    flow_engine = engine()
+    flow_engine = make_engine()
     key = make_flow_key(1)
     first = make_segment(key, FLAG_SYN, seq=99)
     flow_engine.handle(CallerPacket(first), SETTLED)
@@ -119,7 +119,7 @@
 
 
 def test_caller_reset_cancels_a_held_flow() -> None:
-    flow_engine = engine()
+    flow_engine = make_engine()
     key = make_flow_key(1)
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
     reset = CallerPacket(make_segment(key, FLAG_RST, seq=100))
@@ -130,7 +130,7 @@
 
 
 def test_counts_work_by_unanswered_bytes() -> None:
-    flow_engine = engine()
+    flow_engine = make_engine()
     key = make_flow_key(1)
     open_flow(flow_engine, key)
     assert flow_engine.handle(Tick(), SETTLED + 2) == [WorkAnswered(key, SERVER)]
@@ -145,7 +145,7 @@
 def test_first_packet_passes_owner_and_backup_before_the_server() -> None:
     names = ("a", "b", "c")
     key = make_flow_key(1)
-    engines = {name: engine(name) for name in names}
+    engines = {name: make_engine(name) for name in names}
     for flow_engine in engines.values():
         flow_engine.handle(ViewChanged(make_vms(*names)), 0.0)
     rank = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
@@ -172,7 +172,7 @@
 def test_open_flow_follows_what_its_server_announces(
     announced: ServiceName | None, reaches: bool
 ) -> None:
-    flow_engine = engine()
+    flow_engine = make_engine()
     key = make_flow_key(1)
     open_flow(flow_engine, key)
     servers = () if announced is None else (ServerRoute(SERVER, announced),)
@@ -187,7 +187,7 @@
 
 
 def test_new_flow_is_not_bound_to_a_server_that_is_gone() -> None:
-    flow_engine = engine()
+    flow_engine = make_engine()
     key = make_flow_key(1)
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
     flow_engine.handle(make_routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
@@ -203,7 +203,7 @@
 
 
 def test_reply_of_another_server_is_dropped() -> None:
-    flow_engine = engine()
+    flow_engine = make_engine()
     key = make_flow_key(1)
     open_flow(flow_engine, key)
     reply = make_segment(key, seq=500, ack=100, length=9)
@@ -215,7 +215,7 @@
 
 
 def test_a_half_open_flow_goes_on_when_a_peer_names_the_same_server() -> None:
-    flow_engine = engine()
+    flow_engine = make_engine()
     flow_engine.handle(ViewChanged(make_vms("a", "b")), 0.0)
     key = next(
         make_flow_key(port)
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -73,7 +73,7 @@
     ],
 )
 def test_a_closed_key_stays_with_its_server(after, flags, expected) -> None:
-    flow_engine = engine_tests.engine()
+    flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     send(flow_engine, key, SETTLED, flags=FLAG_RST, seq=100)
@@ -81,7 +81,7 @@
 
 
 def test_a_closed_key_is_placed_anew_after_quarantine() -> None:
-    flow_engine = engine_tests.engine()
+    flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     fin = engine_tests.make_segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
@@ -97,7 +97,7 @@
 
 
 def test_a_full_table_refuses_new_flows_and_keeps_open_ones() -> None:
-    flow_engine = engine_tests.engine(settings=FlowSettings(flow_limit=1))
+    flow_engine = engine_tests.make_engine(settings=FlowSettings(flow_limit=1))
     first, second = engine_tests.make_flow_key(1), engine_tests.make_flow_key(2)
     engine_tests.open_flow(flow_engine, first)
     refused = send(flow_engine, second, SETTLED, flags=FLAG_SYN, seq=9)
@@ -106,7 +106,7 @@
 
 
 def test_learned_records_are_bounded_and_spare_owned_ones() -> None:
-    flow_engine = engine_tests.engine(settings=FlowSettings(learned_limit=3))
+    flow_engine = engine_tests.make_engine(settings=FlowSettings(learned_limit=3))
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     for port in range(2, 12):
         reply = engine_tests.make_segment(
@@ -129,7 +129,7 @@
 def test_an_unknown_datagram_is_not_guessed_after_a_loss(
     lost, suspect, expected
 ) -> None:
-    flow_engine = engine_tests.engine()
+    flow_engine = engine_tests.make_engine()
     flow_engine.handle(
         ViewChanged(engine_tests.make_vms("a", "c"), tuple(map(VmId, lost))), SETTLED
     )
@@ -144,7 +144,7 @@
 
 
 def test_an_unknown_connection_is_reset_after_two_misses() -> None:
-    flow_engine = engine_tests.engine()
+    flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     outcomes = [
         send(flow_engine, key, SETTLED + after, seq=5, ack=6)
@@ -166,7 +166,7 @@
     ],
 )
 def test_one_of_two_bindings_wins(here, there, server) -> None:
-    flow_engine = engine_tests.engine()
+    flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     first = engine_tests.make_segment(key, FLAG_SYN, seq=99)
     for binding in (here, there):
@@ -179,7 +179,7 @@
 
 
 def test_silent_flows_get_their_second_copy_within_the_budget() -> None:
-    flow_engine = engine_tests.engine(
+    flow_engine = engine_tests.make_engine(
         settings=FlowSettings(repair_bytes_per_second=500.0)
     )
     for port in range(60):
@@ -203,7 +203,7 @@
 
 
 def test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere() -> None:
-    flow_engine = engine_tests.engine()
+    flow_engine = engine_tests.make_engine()
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED)
     flow_engine.handle(Leaving(), SETTLED)
@@ -224,7 +224,7 @@
 @pytest.mark.parametrize(("protocol", "status_seconds"), [(6, 14_400.0), (17, 30.0)])
 def test_idle_flows_expire_by_protocol(protocol: int, status_seconds: float) -> None:
     settings = FlowSettings(sweep_seconds=0.1, probes_per_second=0.0)
-    flow_engine = engine_tests.engine(settings=settings)
+    flow_engine = engine_tests.make_engine(settings=settings)
     key = engine_tests.make_flow_key(1, protocol)
     if protocol == 6:
         engine_tests.open_flow(flow_engine, key)
@@ -238,7 +238,7 @@
 
 
 def test_batches_survive_the_codec() -> None:
-    flow_engine = engine_tests.engine()
+    flow_engine = engine_tests.make_engine()
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     record = flow_engine.table_sweep.batch_exchange.build_record(
         flow_engine.state.table.slots[engine_tests.make_flow_key(1)], SETTLED
@@ -251,7 +251,7 @@
     draw = random.Random(5)
     for _ in range(300):
         fields = (draw.choice((100, 90, 150)), draw.choice((500, 9)), draw.randrange(2))
-        fast, slow = engine_tests.engine(), engine_tests.engine()
+        fast, slow = engine_tests.make_engine(), engine_tests.make_engine()
         key = engine_tests.make_flow_key(1)
         for flow_engine in (fast, slow):
             engine_tests.open_flow(flow_engine, key)
@@ -267,7 +267,7 @@
 @pytest.mark.parametrize(("first", "is_repeated"), [("a", True), ("b", False)])
 def test_a_reset_is_repeated_only_by_the_owner(first, is_repeated) -> None:
     """A VM that took a flow for silent in a cut leaves it to its owner afterwards."""
-    flow_engine = engine_tests.engine()
+    flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     flow_engine.silence_detector.close_reset_flow(
