Rename kinds to action_names

It returns the type names of actions. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -92,7 +92,7 @@
     flow_engine.handle(CallerPacket(make_segment(key, seq=100, ack=500)), now)
 
 
-def kinds(actions: list) -> list[str]:
+def action_names(actions: list) -> list[str]:
     return [type(action).__name__ for action in actions]
 
 
@@ -155,9 +155,9 @@
     assert isinstance(passed, SendToPeer)
     assert (passed.vm, passed.passing.stage) == (rank[0], Stage.TO_OWNER)
     peer = PeerPacket(VmId(rank[2]), passed.passing, first)
-    assert kinds(owner.handle(peer, SETTLED)) == ["AskPlacement"]
+    assert action_names(owner.handle(peer, SETTLED)) == ["AskPlacement"]
     actions = owner.handle(FlowPlaced(key, SERVER), SETTLED)
-    assert kinds(actions) == ["WorkStarted", "SendToPeer"]
+    assert action_names(actions) == ["WorkStarted", "SendToPeer"]
     store = actions[1]
     assert isinstance(store, SendToPeer)
     assert (store.vm, store.passing.stage) == (rank[1], Stage.STORE)
@@ -181,7 +181,7 @@
         flow_engine.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
     ) == reaches
     late = make_segment(key, seq=105, ack=500, length=5)
-    actions = kinds(flow_engine.handle(CallerPacket(late), SETTLED))
+    actions = action_names(flow_engine.handle(CallerPacket(late), SETTLED))
     assert ("SendToServer" in actions) == reaches
     assert ("ResetCaller" in actions) != reaches
 
@@ -196,7 +196,7 @@
         RefreshRoute(Refusal.SERVER_GONE, ENTRIES, SERVER),
         AskPlacement(key, ENTRIES),
     ]
-    assert kinds(flow_engine.handle(FlowPlaced(key, SECOND), SETTLED)) == [
+    assert action_names(flow_engine.handle(FlowPlaced(key, SECOND), SETTLED)) == [
         "WorkStarted",
         "SendToServer",
     ]
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -88,9 +88,9 @@
     send(flow_engine, key, SETTLED, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
     flow_engine.handle(ServerPacket(fin, SERVER), SETTLED)
     later = SETTLED + 11
-    assert engine_tests.kinds(send(flow_engine, key, later, flags=FLAG_SYN, seq=1)) == [
-        "AskPlacement"
-    ]
+    assert engine_tests.action_names(
+        send(flow_engine, key, later, flags=FLAG_SYN, seq=1)
+    ) == ["AskPlacement"]
     flow_engine.handle(FlowPlaced(key, SECOND), later)
     slot = flow_engine.state.table.slots[key]
     assert flow_engine.state.table.epochs[slot] == 2
@@ -140,7 +140,7 @@
     miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
     datagram = engine_tests.make_segment(key, flags=0, length=9)
     answer = flow_engine.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED + 1)
-    assert engine_tests.kinds(answer) == [expected]
+    assert engine_tests.action_names(answer) == [expected]
 
 
 def test_an_unknown_connection_is_reset_after_two_misses() -> None:
