Rename owns to owns_flow

It tells whether an engine owns a flow. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -220,7 +220,7 @@
     key = next(
         make_flow_key(port)
         for port in range(9)
-        if owns(flow_engine, make_flow_key(port))
+        if owns_flow(flow_engine, make_flow_key(port))
     )
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
     flow_engine.handle(FlowPlaced(key, SERVER), SETTLED)
@@ -233,5 +233,5 @@
     assert store.passing.stage == Stage.STORE
 
 
-def owns(flow_engine: FlowEngine, key: FlowKey) -> bool:
+def owns_flow(flow_engine: FlowEngine, key: FlowKey) -> bool:
     return flow_engine.state.ranking.owner_of(key) == flow_engine.vm
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -61,7 +61,7 @@
 
 def owned_key(flow_engine, protocol: int = 6) -> FlowKey:
     keys = (engine_tests.make_flow_key(port, protocol) for port in range(99))
-    return next(key for key in keys if engine_tests.owns(flow_engine, key))
+    return next(key for key in keys if engine_tests.owns_flow(flow_engine, key))
 
 
 @pytest.mark.parametrize(
