Rename SECOND to OTHER_SERVER

It is the address of another server. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -41,7 +41,7 @@
 SERVICE = Endpoint("127.66.0.50", 80).packed
 OTHER_SERVICE = Endpoint("127.66.0.51", 80).packed
 SERVER = Endpoint("127.66.0.1", 9001).packed
-SECOND = Endpoint("127.66.0.2", 9001).packed
+OTHER_SERVER = Endpoint("127.66.0.2", 9001).packed
 SETTLED = 100.0
 SETTINGS = FlowSettings()
 
@@ -78,7 +78,7 @@
 
 def make_engine(vm: str = "a", settings: FlowSettings = SETTINGS) -> FlowEngine:
     flow_engine = FlowEngine(VmId(vm), settings, random.Random(1))
-    entries = ServerRoute(SERVER, ENTRIES), ServerRoute(SECOND, ENTRIES)
+    entries = ServerRoute(SERVER, ENTRIES), ServerRoute(OTHER_SERVER, ENTRIES)
     flow_engine.handle(make_routes(*entries), 0.0)
     return flow_engine
 
@@ -190,13 +190,15 @@
     flow_engine = make_engine()
     key = make_flow_key(1)
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
-    flow_engine.handle(make_routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
+    flow_engine.handle(
+        make_routes(ServerRoute(OTHER_SERVER, ENTRIES), revision=2), SETTLED
+    )
     assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
         FlowClosed(key, SERVER),
         RefreshRoute(Refusal.SERVER_GONE, ENTRIES, SERVER),
         AskPlacement(key, ENTRIES),
     ]
-    assert action_names(flow_engine.handle(FlowPlaced(key, SECOND), SETTLED)) == [
+    assert action_names(flow_engine.handle(FlowPlaced(key, OTHER_SERVER), SETTLED)) == [
         "WorkStarted",
         "SendToServer",
     ]
@@ -207,7 +209,7 @@
     key = make_flow_key(1)
     open_flow(flow_engine, key)
     reply = make_segment(key, seq=500, ack=100, length=9)
-    crossed = flow_engine.handle(ServerPacket(reply, SECOND), SETTLED)
+    crossed = flow_engine.handle(ServerPacket(reply, OTHER_SERVER), SETTLED)
     assert crossed == [Dropped(Refusal.REPLY_CROSSED)]
     assert flow_engine.handle(ServerPacket(reply, SERVER), SETTLED)[-1] == SendToCaller(
         SERVICE, b"packet"
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -41,7 +41,11 @@
 assert _spec is not None and _spec.loader is not None
 engine_tests = importlib.util.module_from_spec(_spec)
 _spec.loader.exec_module(engine_tests)
-SERVER, SECOND, SETTLED = engine_tests.SERVER, engine_tests.SECOND, engine_tests.SETTLED
+SERVER, OTHER_SERVER, SETTLED = (
+    engine_tests.SERVER,
+    engine_tests.OTHER_SERVER,
+    engine_tests.SETTLED,
+)
 
 
 def send(flow_engine, key: FlowKey, now: float, **fields) -> list[Action]:
@@ -91,7 +95,7 @@
     assert engine_tests.action_names(
         send(flow_engine, key, later, flags=FLAG_SYN, seq=1)
     ) == ["AskPlacement"]
-    flow_engine.handle(FlowPlaced(key, SECOND), later)
+    flow_engine.handle(FlowPlaced(key, OTHER_SERVER), later)
     slot = flow_engine.state.table.slots[key]
     assert flow_engine.state.table.epochs[slot] == 2
 
@@ -157,12 +161,12 @@
 @pytest.mark.parametrize(
     ("here", "there", "server"),
     [
-        (Binding(SERVER, 1, 1), Binding(SECOND, 1, 2), SECOND),
-        (Binding(SERVER, 1, 2), Binding(SECOND, 1, 1), SERVER),
-        (Binding(SERVER, 1, 1), Binding(SECOND, 1, 1, True), SECOND),
-        (Binding(SERVER, 1, 1, True), Binding(SECOND, 1, 1), SERVER),
-        (Binding(SERVER, 1, 1), Binding(SECOND, 1, 1), min(SERVER, SECOND)),
-        (Binding(SECOND, 1, 1), Binding(SERVER, 1, 1), min(SERVER, SECOND)),
+        (Binding(SERVER, 1, 1), Binding(OTHER_SERVER, 1, 2), OTHER_SERVER),
+        (Binding(SERVER, 1, 2), Binding(OTHER_SERVER, 1, 1), SERVER),
+        (Binding(SERVER, 1, 1), Binding(OTHER_SERVER, 1, 1, True), OTHER_SERVER),
+        (Binding(SERVER, 1, 1, True), Binding(OTHER_SERVER, 1, 1), SERVER),
+        (Binding(SERVER, 1, 1), Binding(OTHER_SERVER, 1, 1), min(SERVER, OTHER_SERVER)),
+        (Binding(OTHER_SERVER, 1, 1), Binding(SERVER, 1, 1), min(SERVER, OTHER_SERVER)),
     ],
 )
 def test_one_of_two_bindings_wins(here, there, server) -> None:
