Rename SETTLED to SETTLED_TIME

It is a time at which the view has settled. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -42,7 +42,7 @@
 OTHER_SERVICE = Endpoint("127.66.0.51", 80).packed
 SERVER = Endpoint("127.66.0.1", 9001).packed
 OTHER_SERVER = Endpoint("127.66.0.2", 9001).packed
-SETTLED = 100.0
+SETTLED_TIME = 100.0
 SETTINGS = FlowSettings()
 
 
@@ -83,7 +83,7 @@
     return flow_engine
 
 
-def open_flow(flow_engine: FlowEngine, key: FlowKey, now: float = SETTLED) -> None:
+def open_flow(flow_engine: FlowEngine, key: FlowKey, now: float = SETTLED_TIME) -> None:
     """Place a flow, alone in view, and finish its handshake."""
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), now)
     flow_engine.handle(FlowPlaced(key, SERVER), now)
@@ -100,31 +100,33 @@
     flow_engine = make_engine()
     key = make_flow_key(1)
     syn = CallerPacket(make_segment(key, FLAG_SYN, seq=99))
-    assert flow_engine.handle(syn, SETTLED) == [AskPlacement(key, ENTRIES)]
-    assert flow_engine.handle(syn, SETTLED) == [Dropped(Refusal.DUPLICATE_FIRST_PACKET)]
-    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
+    assert flow_engine.handle(syn, SETTLED_TIME) == [AskPlacement(key, ENTRIES)]
+    assert flow_engine.handle(syn, SETTLED_TIME) == [
+        Dropped(Refusal.DUPLICATE_FIRST_PACKET)
+    ]
+    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME) == [
         WorkStarted(key, SERVER),
         SendToServer(SERVER, b"packet"),
     ]
-    assert flow_engine.handle(syn, SETTLED) == [SendToServer(SERVER, b"packet")]
+    assert flow_engine.handle(syn, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
 
 
 def test_refusal_reaches_the_caller_and_no_server() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
     first = make_segment(key, FLAG_SYN, seq=99)
-    flow_engine.handle(CallerPacket(first), SETTLED)
-    actions = flow_engine.handle(FlowRefused(key, "busy"), SETTLED)
+    flow_engine.handle(CallerPacket(first), SETTLED_TIME)
+    actions = flow_engine.handle(FlowRefused(key, "busy"), SETTLED_TIME)
     assert actions == [ResetCaller(first, "busy")]
 
 
 def test_caller_reset_cancels_a_held_flow() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
-    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
     reset = CallerPacket(make_segment(key, FLAG_RST, seq=100))
-    assert flow_engine.handle(reset, SETTLED) == [CancelPlacement(key)]
-    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
+    assert flow_engine.handle(reset, SETTLED_TIME) == [CancelPlacement(key)]
+    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME) == [
         FlowClosed(key, SERVER)
     ]
 
@@ -133,12 +135,22 @@
     flow_engine = make_engine()
     key = make_flow_key(1)
     open_flow(flow_engine, key)
-    assert flow_engine.handle(Tick(), SETTLED + 2) == [WorkAnswered(key, SERVER)]
-    assert flow_engine.route_caller(key, FLAG_ACK, 100, 500, 40, SETTLED + 3) == SERVER
-    assert flow_engine.route_caller(key, FLAG_ACK, 140, 500, 40, SETTLED + 3) == SERVER
+    assert flow_engine.handle(Tick(), SETTLED_TIME + 2) == [WorkAnswered(key, SERVER)]
+    assert (
+        flow_engine.route_caller(key, FLAG_ACK, 100, 500, 40, SETTLED_TIME + 3)
+        == SERVER
+    )
+    assert (
+        flow_engine.route_caller(key, FLAG_ACK, 140, 500, 40, SETTLED_TIME + 3)
+        == SERVER
+    )
     assert flow_engine.drain() == [WorkStarted(key, SERVER)]
-    assert flow_engine.route_reply(key, FLAG_ACK, 500, 180, 10, SERVER, SETTLED + 4)
-    assert flow_engine.route_reply(key, FLAG_ACK, 510, 180, 10, SERVER, SETTLED + 4)
+    assert flow_engine.route_reply(
+        key, FLAG_ACK, 500, 180, 10, SERVER, SETTLED_TIME + 4
+    )
+    assert flow_engine.route_reply(
+        key, FLAG_ACK, 510, 180, 10, SERVER, SETTLED_TIME + 4
+    )
     assert flow_engine.drain() == [WorkAnswered(key, SERVER)]
 
 
@@ -151,18 +163,18 @@
     rank = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
     first = make_segment(key, FLAG_SYN, seq=99)
     ingress, owner, backup = engines[rank[2]], engines[rank[0]], engines[rank[1]]
-    (passed,) = ingress.handle(CallerPacket(first), SETTLED)
+    (passed,) = ingress.handle(CallerPacket(first), SETTLED_TIME)
     assert isinstance(passed, SendToPeer)
     assert (passed.vm, passed.passing.stage) == (rank[0], Stage.TO_OWNER)
     peer = PeerPacket(VmId(rank[2]), passed.passing, first)
-    assert action_names(owner.handle(peer, SETTLED)) == ["AskPlacement"]
-    actions = owner.handle(FlowPlaced(key, SERVER), SETTLED)
+    assert action_names(owner.handle(peer, SETTLED_TIME)) == ["AskPlacement"]
+    actions = owner.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
     assert action_names(actions) == ["WorkStarted", "SendToPeer"]
     store = actions[1]
     assert isinstance(store, SendToPeer)
     assert (store.vm, store.passing.stage) == (rank[1], Stage.STORE)
     peer = PeerPacket(VmId(rank[0]), store.passing, first)
-    assert backup.handle(peer, SETTLED) == [SendToServer(SERVER, b"packet")]
+    assert backup.handle(peer, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
 
 
 @pytest.mark.parametrize(
@@ -176,12 +188,12 @@
     key = make_flow_key(1)
     open_flow(flow_engine, key)
     servers = () if announced is None else (ServerRoute(SERVER, announced),)
-    flow_engine.handle(make_routes(*servers, revision=2), SETTLED)
+    flow_engine.handle(make_routes(*servers, revision=2), SETTLED_TIME)
     assert (
-        flow_engine.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
+        flow_engine.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED_TIME) == SERVER
     ) == reaches
     late = make_segment(key, seq=105, ack=500, length=5)
-    actions = action_names(flow_engine.handle(CallerPacket(late), SETTLED))
+    actions = action_names(flow_engine.handle(CallerPacket(late), SETTLED_TIME))
     assert ("SendToServer" in actions) == reaches
     assert ("ResetCaller" in actions) != reaches
 
@@ -189,16 +201,18 @@
 def test_new_flow_is_not_bound_to_a_server_that_is_gone() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
-    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
     flow_engine.handle(
-        make_routes(ServerRoute(OTHER_SERVER, ENTRIES), revision=2), SETTLED
+        make_routes(ServerRoute(OTHER_SERVER, ENTRIES), revision=2), SETTLED_TIME
     )
-    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED) == [
+    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME) == [
         FlowClosed(key, SERVER),
         RefreshRoute(Refusal.SERVER_GONE, ENTRIES, SERVER),
         AskPlacement(key, ENTRIES),
     ]
-    assert action_names(flow_engine.handle(FlowPlaced(key, OTHER_SERVER), SETTLED)) == [
+    assert action_names(
+        flow_engine.handle(FlowPlaced(key, OTHER_SERVER), SETTLED_TIME)
+    ) == [
         "WorkStarted",
         "SendToServer",
     ]
@@ -209,11 +223,11 @@
     key = make_flow_key(1)
     open_flow(flow_engine, key)
     reply = make_segment(key, seq=500, ack=100, length=9)
-    crossed = flow_engine.handle(ServerPacket(reply, OTHER_SERVER), SETTLED)
+    crossed = flow_engine.handle(ServerPacket(reply, OTHER_SERVER), SETTLED_TIME)
     assert crossed == [Dropped(Refusal.REPLY_CROSSED)]
-    assert flow_engine.handle(ServerPacket(reply, SERVER), SETTLED)[-1] == SendToCaller(
-        SERVICE, b"packet"
-    )
+    assert flow_engine.handle(ServerPacket(reply, SERVER), SETTLED_TIME)[
+        -1
+    ] == SendToCaller(SERVICE, b"packet")
 
 
 def test_a_half_open_flow_goes_on_when_a_peer_names_the_same_server() -> None:
@@ -224,13 +238,15 @@
         for port in range(9)
         if owns_flow(flow_engine, make_flow_key(port))
     )
-    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED)
-    flow_engine.handle(FlowPlaced(key, SERVER), SETTLED)
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
+    flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
     unseen_answer = make_segment(key, seq=100, ack=500, length=20)
-    [search] = flow_engine.handle(CallerPacket(unseen_answer), SETTLED)
+    [search] = flow_engine.handle(CallerPacket(unseen_answer), SETTLED_TIME)
     assert search.passing.stage == Stage.LOOKUP
     adopt = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
-    actions = flow_engine.handle(PeerPacket(VmId("b"), adopt, unseen_answer), SETTLED)
+    actions = flow_engine.handle(
+        PeerPacket(VmId("b"), adopt, unseen_answer), SETTLED_TIME
+    )
     [store] = [action for action in actions if isinstance(action, SendToPeer)]
     assert store.passing.stage == Stage.STORE
 
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -41,10 +41,10 @@
 assert _spec is not None and _spec.loader is not None
 engine_tests = importlib.util.module_from_spec(_spec)
 _spec.loader.exec_module(engine_tests)
-SERVER, OTHER_SERVER, SETTLED = (
+SERVER, OTHER_SERVER, SETTLED_TIME = (
     engine_tests.SERVER,
     engine_tests.OTHER_SERVER,
-    engine_tests.SETTLED,
+    engine_tests.SETTLED_TIME,
 )
 
 
@@ -80,8 +80,10 @@
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
-    send(flow_engine, key, SETTLED, flags=FLAG_RST, seq=100)
-    assert send(flow_engine, key, SETTLED + after, flags=flags, seq=7_000) == [expected]
+    send(flow_engine, key, SETTLED_TIME, flags=FLAG_RST, seq=100)
+    assert send(flow_engine, key, SETTLED_TIME + after, flags=flags, seq=7_000) == [
+        expected
+    ]
 
 
 def test_a_closed_key_is_placed_anew_after_quarantine() -> None:
@@ -89,9 +91,9 @@
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     fin = engine_tests.make_segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
-    send(flow_engine, key, SETTLED, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
-    flow_engine.handle(ServerPacket(fin, SERVER), SETTLED)
-    later = SETTLED + 11
+    send(flow_engine, key, SETTLED_TIME, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
+    flow_engine.handle(ServerPacket(fin, SERVER), SETTLED_TIME)
+    later = SETTLED_TIME + 11
     assert engine_tests.action_names(
         send(flow_engine, key, later, flags=FLAG_SYN, seq=1)
     ) == ["AskPlacement"]
@@ -104,9 +106,11 @@
     flow_engine = engine_tests.make_engine(settings=FlowSettings(flow_limit=1))
     first, second = engine_tests.make_flow_key(1), engine_tests.make_flow_key(2)
     engine_tests.open_flow(flow_engine, first)
-    refused = send(flow_engine, second, SETTLED, flags=FLAG_SYN, seq=9)
+    refused = send(flow_engine, second, SETTLED_TIME, flags=FLAG_SYN, seq=9)
     assert [action.reason for action in refused] == [Refusal.TABLE_FULL]
-    assert flow_engine.route_caller(first, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
+    assert (
+        flow_engine.route_caller(first, FLAG_ACK, 100, 500, 5, SETTLED_TIME) == SERVER
+    )
 
 
 def test_learned_records_are_bounded_and_spare_owned_ones() -> None:
@@ -116,7 +120,7 @@
         reply = engine_tests.make_segment(
             engine_tests.make_flow_key(port), seq=5, ack=6, length=7
         )
-        flow_engine.handle(ServerPacket(reply, SERVER), SETTLED)
+        flow_engine.handle(ServerPacket(reply, SERVER), SETTLED_TIME)
     counts = flow_engine.state.table.role_counts
     assert (counts[Role.LEARNED], counts[Role.OWNER]) == (3, 1)
     assert engine_tests.make_flow_key(11) in flow_engine.state.table.slots
@@ -135,15 +139,16 @@
 ) -> None:
     flow_engine = engine_tests.make_engine()
     flow_engine.handle(
-        ViewChanged(engine_tests.make_vms("a", "c"), tuple(map(VmId, lost))), SETTLED
+        ViewChanged(engine_tests.make_vms("a", "c"), tuple(map(VmId, lost))),
+        SETTLED_TIME,
     )
     key = owned_key(flow_engine, protocol=17)
-    [search] = send(flow_engine, key, SETTLED + 1, flags=0, length=9)
+    [search] = send(flow_engine, key, SETTLED_TIME + 1, flags=0, length=9)
     assert isinstance(search, SendToPeer)
     assert search.passing.stage == Stage.LOOKUP
     miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
     datagram = engine_tests.make_segment(key, flags=0, length=9)
-    answer = flow_engine.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED + 1)
+    answer = flow_engine.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED_TIME + 1)
     assert engine_tests.action_names(answer) == [expected]
 
 
@@ -151,7 +156,7 @@
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     outcomes = [
-        send(flow_engine, key, SETTLED + after, seq=5, ack=6)
+        send(flow_engine, key, SETTLED_TIME + after, seq=5, ack=6)
         for after in (0.0, 1.0, 3.5)
     ]
     assert outcomes[:2] == [[Dropped(Refusal.VIEW_UNSETTLED)]] * 2
@@ -175,7 +180,7 @@
     first = engine_tests.make_segment(key, FLAG_SYN, seq=99)
     for binding in (here, there):
         store = Passing(Stage.STORE, 0, binding)
-        flow_engine.handle(PeerPacket(VmId("b"), store, first), SETTLED)
+        flow_engine.handle(PeerPacket(VmId("b"), store, first), SETTLED_TIME)
     assert (
         flow_engine.state.server_address_of(flow_engine.state.table.slots[key])
         == server
@@ -188,13 +193,13 @@
     )
     for port in range(60):
         engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(port))
-    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED)
+    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
     flow_engine.state.ranking.ranked_vms = {
         place: [VmId("a"), VmId("b")] for place in flow_engine.state.ranking.ranked_vms
     }
     batches = []
     for step in range(1, 101):
-        now = SETTLED + 3 + step / 10
+        now = SETTLED_TIME + 3 + step / 10
         for action in flow_engine.handle(Tick(), now):
             if isinstance(action, SendMessage):
                 batches.append(action.message)
@@ -209,14 +214,14 @@
 def test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere() -> None:
     flow_engine = engine_tests.make_engine()
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
-    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED)
-    flow_engine.handle(Leaving(), SETTLED)
-    unconfirmed = tick_for(flow_engine, SETTLED, 20.0)
+    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
+    flow_engine.handle(Leaving(), SETTLED_TIME)
+    unconfirmed = tick_for(flow_engine, SETTLED_TIME, 20.0)
     assert not any(isinstance(action, Quiet) for action in unconfirmed)
     flow_engine.state.table.backup_vms[0] = 0
     batch = flow_engine.table_sweep.batch_exchange.unconfirmed_batches
     for step in range(300):
-        now = SETTLED + 20 + step / 10
+        now = SETTLED_TIME + 20 + step / 10
         actions = flow_engine.handle(Tick(), now)
         for number in list(batch):
             flow_engine.handle(PeerMessage(VmId("b"), BatchStored(number)), now)
@@ -233,11 +238,11 @@
     if protocol == 6:
         engine_tests.open_flow(flow_engine, key)
     else:
-        send(flow_engine, key, SETTLED, flags=0, length=4)
-        flow_engine.handle(FlowPlaced(key, SERVER), SETTLED)
-    tick_for(flow_engine, SETTLED + status_seconds - 3, 2.0)
+        send(flow_engine, key, SETTLED_TIME, flags=0, length=4)
+        flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
+    tick_for(flow_engine, SETTLED_TIME + status_seconds - 3, 2.0)
     assert key in flow_engine.state.table.slots
-    tick_for(flow_engine, SETTLED + status_seconds, 2.0)
+    tick_for(flow_engine, SETTLED_TIME + status_seconds, 2.0)
     assert key not in flow_engine.state.table.slots
 
 
@@ -245,7 +250,7 @@
     flow_engine = engine_tests.make_engine()
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     record = flow_engine.table_sweep.batch_exchange.build_record(
-        flow_engine.state.table.slots[engine_tests.make_flow_key(1)], SETTLED
+        flow_engine.state.table.slots[engine_tests.make_flow_key(1)], SETTLED_TIME
     )
     batch = RecordBatch(1, (record,))
     assert FLOW_MESSAGES.decode(FLOW_MESSAGES.encode(batch)).ok == batch
@@ -275,14 +280,14 @@
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     flow_engine.silence_detector.close_reset_flow(
-        flow_engine.state.table.slots[key], Refusal.SILENT, SETTLED
+        flow_engine.state.table.slots[key], Refusal.SILENT, SETTLED_TIME
     )
-    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED)
+    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
     second = "b" if first == "a" else "a"
     flow_engine.state.ranking.ranked_vms = {
         place: [VmId(first), VmId(second)]
         for place in flow_engine.state.ranking.ranked_vms
     }
-    actions = tick_for(flow_engine, SETTLED, 5.0)
+    actions = tick_for(flow_engine, SETTLED_TIME, 5.0)
     resets = [one for one in actions if isinstance(one, ResetCaller)]
     assert bool(resets) == is_repeated
