--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -48,7 +48,7 @@
 )
 
 
-def send(flow_engine, key: FlowKey, now: float, **fields) -> list[Action]:
+def send_packet(flow_engine, key: FlowKey, now: float, **fields) -> list[Action]:
     return flow_engine.handle(
         CallerPacket(engine_tests.make_segment(key, **fields)), now
     )
@@ -80,10 +80,10 @@
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
-    send(flow_engine, key, SETTLED_TIME, flags=FLAG_RST, seq=100)
-    assert send(flow_engine, key, SETTLED_TIME + after, flags=flags, seq=7_000) == [
-        expected
-    ]
+    send_packet(flow_engine, key, SETTLED_TIME, flags=FLAG_RST, seq=100)
+    assert send_packet(
+        flow_engine, key, SETTLED_TIME + after, flags=flags, seq=7_000
+    ) == [expected]
 
 
 def test_a_closed_key_is_placed_anew_after_quarantine() -> None:
@@ -91,11 +91,13 @@
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     fin = engine_tests.make_segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
-    send(flow_engine, key, SETTLED_TIME, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
+    send_packet(
+        flow_engine, key, SETTLED_TIME, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500
+    )
     flow_engine.handle(ServerPacket(fin, SERVER), SETTLED_TIME)
     later = SETTLED_TIME + 11
     assert engine_tests.action_names(
-        send(flow_engine, key, later, flags=FLAG_SYN, seq=1)
+        send_packet(flow_engine, key, later, flags=FLAG_SYN, seq=1)
     ) == ["AskPlacement"]
     flow_engine.handle(FlowPlaced(key, OTHER_SERVER), later)
     slot = flow_engine.state.table.slots[key]
@@ -106,7 +108,7 @@
     flow_engine = engine_tests.make_engine(settings=FlowSettings(flow_limit=1))
     first, second = engine_tests.make_flow_key(1), engine_tests.make_flow_key(2)
     engine_tests.open_flow(flow_engine, first)
-    refused = send(flow_engine, second, SETTLED_TIME, flags=FLAG_SYN, seq=9)
+    refused = send_packet(flow_engine, second, SETTLED_TIME, flags=FLAG_SYN, seq=9)
     assert [action.reason for action in refused] == [Refusal.TABLE_FULL]
     assert (
         flow_engine.route_caller(first, FLAG_ACK, 100, 500, 5, SETTLED_TIME) == SERVER
@@ -143,7 +145,7 @@
         SETTLED_TIME,
     )
     key = owned_key(flow_engine, protocol=17)
-    [search] = send(flow_engine, key, SETTLED_TIME + 1, flags=0, length=9)
+    [search] = send_packet(flow_engine, key, SETTLED_TIME + 1, flags=0, length=9)
     assert isinstance(search, SendToPeer)
     assert search.passing.stage == Stage.LOOKUP
     miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
@@ -156,7 +158,7 @@
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     outcomes = [
-        send(flow_engine, key, SETTLED_TIME + after, seq=5, ack=6)
+        send_packet(flow_engine, key, SETTLED_TIME + after, seq=5, ack=6)
         for after in (0.0, 1.0, 3.5)
     ]
     assert outcomes[:2] == [[Dropped(Refusal.VIEW_UNSETTLED)]] * 2
@@ -238,7 +240,7 @@
     if protocol == 6:
         engine_tests.open_flow(flow_engine, key)
     else:
-        send(flow_engine, key, SETTLED_TIME, flags=0, length=4)
+        send_packet(flow_engine, key, SETTLED_TIME, flags=0, length=4)
         flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
     tick_for(flow_engine, SETTLED_TIME + status_seconds - 3, 2.0)
     assert key in flow_engine.state.table.slots
@@ -267,7 +269,9 @@
         server = fast.route_caller(
             key, FLAG_ACK, fields[0], fields[1], fields[2], 101.0
         )
-        sent = send(slow, key, 101.0, seq=fields[0], ack=fields[1], length=fields[2])
+        sent = send_packet(
+            slow, key, 101.0, seq=fields[0], ack=fields[1], length=fields[2]
+        )
         if server is not None:
             assert SendToServer(SERVER, b"packet") in sent
             assert fast.drain() == [a for a in sent if not isinstance(a, SendToServer)]
