Rename owned_key to find_owned_key

It searches for a key that the engine owns. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -63,7 +63,7 @@
     ]
 
 
-def owned_key(flow_engine, protocol: int = 6) -> FlowKey:
+def find_owned_key(flow_engine, protocol: int = 6) -> FlowKey:
     keys = (engine_tests.make_flow_key(port, protocol) for port in range(99))
     return next(key for key in keys if engine_tests.owns_flow(flow_engine, key))
 
@@ -144,7 +144,7 @@
         ViewChanged(engine_tests.make_vms("a", "c"), tuple(map(VmId, lost))),
         SETTLED_TIME,
     )
-    key = owned_key(flow_engine, protocol=17)
+    key = find_owned_key(flow_engine, protocol=17)
     [search] = send_packet(flow_engine, key, SETTLED_TIME + 1, flags=0, length=9)
     assert isinstance(search, SendToPeer)
     assert search.passing.stage == Stage.LOOKUP
