Rename tick_for to run_ticks

It runs ticks over a time. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -54,7 +54,7 @@
     )
 
 
-def tick_for(flow_engine, start: float, seconds: float) -> list[Action]:
+def run_ticks(flow_engine, start: float, seconds: float) -> list[Action]:
     steps = int(seconds * 10)
     return [
         action
@@ -218,7 +218,7 @@
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
     flow_engine.handle(Leaving(), SETTLED_TIME)
-    unconfirmed = tick_for(flow_engine, SETTLED_TIME, 20.0)
+    unconfirmed = run_ticks(flow_engine, SETTLED_TIME, 20.0)
     assert not any(isinstance(action, Quiet) for action in unconfirmed)
     flow_engine.state.table.backup_vms[0] = 0
     batch = flow_engine.table_sweep.batch_exchange.unconfirmed_batches
@@ -242,9 +242,9 @@
     else:
         send_packet(flow_engine, key, SETTLED_TIME, flags=0, length=4)
         flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
-    tick_for(flow_engine, SETTLED_TIME + status_seconds - 3, 2.0)
+    run_ticks(flow_engine, SETTLED_TIME + status_seconds - 3, 2.0)
     assert key in flow_engine.state.table.slots
-    tick_for(flow_engine, SETTLED_TIME + status_seconds, 2.0)
+    run_ticks(flow_engine, SETTLED_TIME + status_seconds, 2.0)
     assert key not in flow_engine.state.table.slots
 
 
@@ -292,6 +292,6 @@
         place: [VmId(first), VmId(second)]
         for place in flow_engine.state.ranking.ranked_vms
     }
-    actions = tick_for(flow_engine, SETTLED_TIME, 5.0)
+    actions = run_ticks(flow_engine, SETTLED_TIME, 5.0)
     resets = [one for one in actions if isinstance(one, ResetCaller)]
     assert bool(resets) == is_repeated
