Rename draw to rng

It is a random generator. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -259,9 +259,9 @@
 
 
 def test_fast_path_agrees_with_the_slow_path() -> None:
-    draw = random.Random(5)
+    rng = random.Random(5)
     for _ in range(300):
-        fields = (draw.choice((100, 90, 150)), draw.choice((500, 9)), draw.randrange(2))
+        fields = (rng.choice((100, 90, 150)), rng.choice((500, 9)), rng.randrange(2))
         fast, slow = engine_tests.make_engine(), engine_tests.make_engine()
         key = engine_tests.make_flow_key(1)
         for flow_engine in (fast, slow):
