--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -277,8 +277,8 @@
             assert fast.drain() == [a for a in sent if not isinstance(a, SendToServer)]
 
 
-@pytest.mark.parametrize(("first", "is_repeated"), [("a", True), ("b", False)])
-def test_a_reset_is_repeated_only_by_the_owner(first, is_repeated) -> None:
+@pytest.mark.parametrize(("owner", "is_repeated"), [("a", True), ("b", False)])
+def test_a_reset_is_repeated_only_by_the_owner(owner, is_repeated) -> None:
     """A VM that took a flow for silent in a cut leaves it to its owner afterwards."""
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
@@ -287,9 +287,9 @@
         flow_engine.state.table.slots[key], Refusal.SILENT, SETTLED_TIME
     )
     flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
-    second = "b" if first == "a" else "a"
+    backup = "b" if owner == "a" else "a"
     flow_engine.state.ranking.ranked_vms = {
-        place: [VmId(first), VmId(second)]
+        place: [VmId(owner), VmId(backup)]
         for place in flow_engine.state.ranking.ranked_vms
     }
     actions = run_ticks(flow_engine, SETTLED_TIME, 5.0)
