--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -96,7 +96,7 @@
     return [type(action).__name__ for action in actions]
 
 
-def test_places_a_first_packet_once() -> None:
+def test_first_packet_requests_one_placement() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
     syn = CallerPacket(make_segment(key, FLAG_SYN, seq=99))
