Rename test_refusal_reaches_the_caller_and_no_server to test_refused_placement_only_resets_the_caller

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -111,7 +111,7 @@
     assert flow_engine.handle(syn, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
 
 
-def test_refusal_reaches_the_caller_and_no_server() -> None:
+def test_refused_placement_only_resets_the_caller() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
     first = make_segment(key, FLAG_SYN, seq=99)
