Rename test_caller_reset_cancels_a_held_flow to test_caller_reset_cancels_a_pending_placement

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -120,7 +120,7 @@
     assert actions == [ResetCaller(first, "busy")]
 
 
-def test_caller_reset_cancels_a_held_flow() -> None:
+def test_caller_reset_cancels_a_pending_placement() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
