--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -131,7 +131,7 @@
     ]
 
 
-def test_counts_work_by_unanswered_bytes() -> None:
+def test_unanswered_caller_bytes_count_as_work() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
     open_flow(flow_engine, key)
