Rename test_first_packet_passes_owner_and_backup_before_the_server to test_first_packet_reaches_owner_and_backup_before_the_server

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -154,7 +154,7 @@
     assert flow_engine.drain() == [WorkAnswered(key, SERVER)]
 
 
-def test_first_packet_passes_owner_and_backup_before_the_server() -> None:
+def test_first_packet_reaches_owner_and_backup_before_the_server() -> None:
     names = ("a", "b", "c")
     key = make_flow_key(1)
     engines = {name: make_engine(name) for name in names}
