--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -181,7 +181,7 @@
     ("announced", "reaches"),
     [(ENTRIES, True), (None, True), (PAGESETTER, False)],
 )
-def test_open_flow_follows_what_its_server_announces(
+def test_open_flow_is_reset_if_its_server_announces_another_service(
     announced: ServiceName | None, reaches: bool
 ) -> None:
     flow_engine = make_engine()
