--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -198,7 +198,7 @@
     assert ("ResetCaller" in actions) != reaches
 
 
-def test_new_flow_is_not_bound_to_a_server_that_is_gone() -> None:
+def test_new_flow_is_not_bound_to_a_removed_server() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
