--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -218,7 +218,7 @@
     ]
 
 
-def test_reply_of_another_server_is_dropped() -> None:
+def test_reply_from_another_server_is_dropped() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
     open_flow(flow_engine, key)
