--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -230,7 +230,7 @@
     ] == SendToCaller(SERVICE, b"packet")
 
 
-def test_a_half_open_flow_goes_on_when_a_peer_names_the_same_server() -> None:
+def test_half_open_flow_continues_if_a_peer_confirms_its_server() -> None:
     flow_engine = make_engine()
     flow_engine.handle(ViewChanged(make_vms("a", "b")), 0.0)
     key = next(
