Rename test_a_closed_key_stays_with_its_server to test_closed_flow_key_stays_bound_to_its_server_in_quarantine

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -76,7 +76,9 @@
         (0.1, FLAG_ACK, SendToServer(SERVER, b"packet")),
     ],
 )
-def test_a_closed_key_stays_with_its_server(after, flags, expected) -> None:
+def test_closed_flow_key_stays_bound_to_its_server_in_quarantine(
+    after, flags, expected
+) -> None:
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
