Rename test_a_closed_key_is_placed_anew_after_quarantine to test_closed_flow_key_is_placed_again_after_quarantine

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -88,7 +88,7 @@
     ) == [expected]
 
 
-def test_a_closed_key_is_placed_anew_after_quarantine() -> None:
+def test_closed_flow_key_is_placed_again_after_quarantine() -> None:
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
