Rename test_learned_records_are_bounded_and_spare_owned_ones to test_learned_record_limit_does_not_evict_owned_records

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -117,7 +117,7 @@
     )
 
 
-def test_learned_records_are_bounded_and_spare_owned_ones() -> None:
+def test_learned_record_limit_does_not_evict_owned_records() -> None:
     flow_engine = engine_tests.make_engine(settings=FlowSettings(learned_limit=3))
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     for port in range(2, 12):
