Rename test_an_unknown_datagram_is_not_guessed_after_a_loss to test_unknown_udp_flow_is_reset_after_the_loss_of_a_vm

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -138,7 +138,7 @@
         ((), True, "ResetCaller"),
     ],
 )
-def test_an_unknown_datagram_is_not_guessed_after_a_loss(
+def test_unknown_udp_flow_is_reset_after_the_loss_of_a_vm(
     lost, suspect, expected
 ) -> None:
     flow_engine = engine_tests.make_engine()
