Rename test_an_unknown_connection_is_reset_after_two_misses to test_unknown_tcp_flow_is_reset_after_two_failed_lookups

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -156,7 +156,7 @@
     assert engine_tests.action_names(answer) == [expected]
 
 
-def test_an_unknown_connection_is_reset_after_two_misses() -> None:
+def test_unknown_tcp_flow_is_reset_after_two_failed_lookups() -> None:
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     outcomes = [
