Rename test_one_of_two_bindings_wins to test_conflicting_bindings_resolve_to_one_server

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -178,7 +178,7 @@
         (Binding(OTHER_SERVER, 1, 1), Binding(SERVER, 1, 1), min(SERVER, OTHER_SERVER)),
     ],
 )
-def test_one_of_two_bindings_wins(here, there, server) -> None:
+def test_conflicting_bindings_resolve_to_one_server(here, there, server) -> None:
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     first = engine_tests.make_segment(key, FLAG_SYN, seq=99)
