--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -191,7 +191,7 @@
     )
 
 
-def test_silent_flows_get_their_second_copy_within_the_budget() -> None:
+def test_idle_flows_are_backed_up_within_the_byte_budget() -> None:
     flow_engine = engine_tests.make_engine(
         settings=FlowSettings(repair_bytes_per_second=500.0)
     )
