Rename test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere to test_leaving_vm_reports_quiet_once_its_records_are_stored_elsewhere

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -215,7 +215,7 @@
     assert len(keys) == len(set(keys)) == 60
 
 
-def test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere() -> None:
+def test_leaving_vm_reports_quiet_once_its_records_are_stored_elsewhere() -> None:
     flow_engine = engine_tests.make_engine()
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
