Rename test_batches_survive_the_codec to test_record_batch_is_unchanged_by_encoding_and_decoding

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -250,7 +250,7 @@
     assert key not in flow_engine.state.table.slots
 
 
-def test_batches_survive_the_codec() -> None:
+def test_record_batch_is_unchanged_by_encoding_and_decoding() -> None:
     flow_engine = engine_tests.make_engine()
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     record = flow_engine.table_sweep.batch_exchange.build_record(
