Rename test_a_reset_is_repeated_only_by_the_owner to test_reset_is_repeated_only_by_the_owner

The new name says in usual terms what the test checks. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -280,7 +280,7 @@
 
 
 @pytest.mark.parametrize(("owner", "is_repeated"), [("a", True), ("b", False)])
-def test_a_reset_is_repeated_only_by_the_owner(owner, is_repeated) -> None:
+def test_reset_is_repeated_only_by_the_owner(owner, is_repeated) -> None:
     """A VM that took a flow for silent in a cut leaves it to its owner afterwards."""
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
