--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -108,7 +108,7 @@
         Raises:
             TypeError: The type of the event is unknown.
         """
-        raise TypeError(f"no such event: {type(event).__name__}")
+        raise TypeError(f"unknown event type: {type(event).__name__}")
 
     @apply_event.register
     def _(self, event: CallerPacket, now: float) -> None:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -149,7 +149,7 @@
             ValueError: The server may not get packets of the flow's service.
         """
         if not self.server_permitted(slot):
-            raise ValueError("a packet was about to reach another service's server")
+            raise ValueError("server must not receive packets of the flow's service")
         self.out.append(SendToServer(self.server_address_of(slot), segment.packet))
 
     def drop_packet(self, reason: Refusal) -> None:
