--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -21,8 +21,11 @@
 from kumquatmux_flows.table import WAS_RESET, FlowFlag, FlowStatus, Role
 
 RECORD_BYTES = 56
+"""Bytes that a record takes from the budget."""
 BATCH_HEADER_BYTES = 24
+"""Bytes that a batch takes from the budget in addition to its records."""
 BURST_SECONDS = 1.0
+"""Time for which unused budget accumulates."""
 DEFERRED_SLOT_LIMIT = 20_000
 
 
@@ -114,7 +117,7 @@
         table = state.table
         key = table.keys[slot]
         if key is None:
-            raise ValueError(f"slot {slot} holds no flow")
+            raise ValueError(f"slot {slot} holds no flow record")
         return FlowRecord(
             key,
             state.server_address_of(slot),
--- a/libs/flows/src/kumquatmux_flows/events.py
+++ b/libs/flows/src/kumquatmux_flows/events.py
@@ -12,7 +12,18 @@
 
 
 class Stage(IntEnum):
-    """Purpose for which one VM sends a packet to another."""
+    """Purpose for which one VM sends a packet to another.
+
+    Attributes:
+        TO_OWNER: A caller's packet goes to the owner of its flow.
+        STORE: The backup VM stores the record and forwards the packet to the server.
+        LOOKUP: The record of the packet's flow is looked up.
+        ADOPT: The VM that needs the record gets it with the packet.
+        MISS: The lookup has found no record.
+        REPLY_TO_OWNER: A server's packet goes to the owner of its flow.
+        REPLY_CLOSE: The backup VM closes the flow on a server's FIN or RST and
+            forwards the packet to the caller.
+    """
 
     TO_OWNER = 1
     STORE = 2
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -7,7 +7,9 @@
 from kumquatmux_flows.table import SEQUENCE_MASK, FlowFlag, FlowStatus, Role
 
 NARROW_ACK_WINDOW_BYTES = 1 << 20
+"""Window for acknowledgement numbers of half-open flows and on the fast path."""
 WIDE_ACK_WINDOW_BYTES = 1 << 28
+"""Window for acknowledgement numbers of established flows."""
 
 
 class AckValidator:
--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -11,6 +11,7 @@
 from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
 CORRECTION_HOPS = 1
+"""Hop count of an ``ADOPT`` packet that corrects the owner, not answers a lookup."""
 
 
 class PeerPacketHandler:
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -15,6 +15,7 @@
 
 CLOSE_FLAGS = FLAG_FIN | FLAG_RST
 LEARNED_KEYS_FACTOR = 2
+"""Length of ``learned_keys`` at which it is compacted, in multiples of the limit."""
 
 
 class ReplyHandler:
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -6,6 +6,7 @@
 from kumquatmux_flows.events import RoutesChanged
 
 UNKNOWN_REVISION = -1
+"""Revision before the first settings are in force."""
 
 
 def service_key_of(key: FlowKey) -> bytes:
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -19,8 +19,11 @@
 )
 
 IDLE_BEFORE_REPAIR_SECONDS = 2.0
+"""Idle time of a flow after which a batch and not a packet carries its record."""
 LEAVING_SPEED_FACTOR = 10.0
+"""Speed of the sweep during the shutdown of this VM, relative to its normal speed."""
 BURST_SECONDS = 1.0
+"""Most time that one tick accounts for, and for which unused budget accumulates."""
 
 
 class TableSweep:
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -10,7 +10,9 @@
 
 MIN_GROWTH_SLOTS = 1_024
 NO_VM = 0xFFFF
+"""VM number that stands for no VM."""
 WAS_RESET = 255
+"""Value of ``strikes`` for a flow that this VM has reset."""
 ROW_BYTES = 64
 SEQUENCE_MASK = 0xFFFFFFFF
 SEQUENCE_HALF = 0x80000000
@@ -19,8 +21,11 @@
 class Role(IntEnum):
     """Reason why this VM holds a record.
 
-    ``LEARNED`` records come from replies only. ``BACKUP`` records are copies of records
-    that another VM owns.
+    Attributes:
+        FREE: The slot holds no record.
+        LEARNED: The record was learned from replies.
+        BACKUP: The record is a copy of one that another VM owns.
+        OWNER: This VM owns the flow.
     """
 
     FREE = 0
@@ -30,7 +35,15 @@
 
 
 class FlowStatus(IntEnum):
-    """Progress of a flow; open flows have the status ``ESTABLISHED`` or higher."""
+    """Progress of a flow; open flows have the status ``ESTABLISHED`` or higher.
+
+    Attributes:
+        HALF_OPEN: The TCP handshake is not finished.
+        CLOSING: One end has sent a FIN.
+        CLOSED: The flow has ended or was reset.
+        ESTABLISHED: The TCP handshake is finished.
+        UDP_ACTIVE: The flow is a UDP flow.
+    """
 
     HALF_OPEN = 0
     CLOSING = 1
@@ -42,14 +55,18 @@
 class FlowFlag(IntEnum):
     """Flag bits of a flow.
 
-    ``WORK_PENDING``: the flow holds a slot of its server, because bytes of its caller
-    are unanswered or, with ``WORK_PROVISIONAL``, because it is new and its caller has
-    not sent any. ``CALLER_FIN`` and ``SERVER_FIN``: that end sent a FIN.
-    ``BACKUP_CONFIRMED``: the backup VM is known to hold the record. ``PLACED_HERE``:
-    this VM placed the flow. ``SERVER_NEXT_KNOWN``: ``server_nexts`` holds a number seen
-    in a packet; ``CALLER_NEXT_KNOWN``: the same of ``caller_nexts``. At the owner
-    ``server_nexts`` holds what the caller acknowledged, not what the server sent,
-    because the caller ignores resets and probes with any other number.
+    Attributes:
+        WORK_PENDING: The flow holds a slot of its server.
+        WORK_PROVISIONAL: The flow holds the slot only because it is new; its caller
+            has not sent any bytes.
+        CALLER_FIN: The caller has sent a FIN.
+        SERVER_FIN: The server has sent a FIN.
+        BACKUP_CONFIRMED: The backup VM is known to hold the record.
+        PLACED_HERE: This VM placed the flow.
+        SERVER_NEXT_KNOWN: ``server_nexts`` holds a number seen in a packet. At the
+            owner it is what the caller acknowledged, not what the server sent: the
+            caller ignores resets and probes with any other number.
+        CALLER_NEXT_KNOWN: ``caller_nexts`` holds a number seen in a packet.
     """
 
     WORK_PENDING = 1
@@ -70,7 +87,7 @@
         keys: Key of each slot, None for a free slot.
         free_slots: Free slots.
         role_counts: Number of records by role.
-        epochs: Epoch of each slot.
+        epochs: Number of times that the key of each slot has been placed.
         strike_times: Time in seconds at which each slot last counted an unanswered
             packet or, for a closed flow, at which it was closed.
     """
@@ -155,7 +172,7 @@
         """
         key = self.keys[slot]
         if key is None:
-            raise ValueError(f"slot {slot} is free already")
+            raise ValueError(f"slot {slot} is already free")
         del self.slots[key]
         self.keys[slot] = None
         self.role_counts[self.roles[slot]] -= 1
