--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -84,7 +84,7 @@
 
 
 def open_flow(flow_engine: FlowEngine, key: FlowKey, now: float = SETTLED_TIME) -> None:
-    """Place a flow, alone in view, and finish its handshake."""
+    """Place a flow with only this VM in the view and finish its handshake."""
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), now)
     flow_engine.handle(FlowPlaced(key, SERVER), now)
     answer = make_segment(key, FLAG_SYN | FLAG_ACK, seq=499, ack=100)
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -1,4 +1,4 @@
-"""One table or case for each matter of the flow engine."""
+"""Tests of limits, conflicts, backup copies, expiry and shutdown of the engine."""
 
 from __future__ import annotations
 
@@ -231,7 +231,7 @@
             flow_engine.handle(PeerMessage(VmId("b"), BatchStored(number)), now)
         if any(isinstance(action, Quiet) for action in actions):
             return
-    raise AssertionError("never quiet")
+    raise AssertionError("the handover was never reported as complete")
 
 
 @pytest.mark.parametrize(("protocol", "status_seconds"), [(6, 14_400.0), (17, 30.0)])
@@ -281,7 +281,7 @@
 
 @pytest.mark.parametrize(("owner", "is_repeated"), [("a", True), ("b", False)])
 def test_reset_is_repeated_only_by_the_owner(owner, is_repeated) -> None:
-    """A VM that took a flow for silent in a cut leaves it to its owner afterwards."""
+    """A VM that closed a flow as silent during a partition leaves it to its owner."""
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
