--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -241,8 +241,8 @@
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
     flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
     unseen_answer = make_segment(key, seq=100, ack=500, length=20)
-    [search] = flow_engine.handle(CallerPacket(unseen_answer), SETTLED_TIME)
-    assert search.passing.stage == Stage.LOOKUP
+    [lookup] = flow_engine.handle(CallerPacket(unseen_answer), SETTLED_TIME)
+    assert lookup.passing.stage == Stage.LOOKUP
     adopt = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
     actions = flow_engine.handle(
         PeerPacket(VmId("b"), adopt, unseen_answer), SETTLED_TIME
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -147,9 +147,9 @@
         SETTLED_TIME,
     )
     key = find_owned_key(flow_engine, protocol=17)
-    [search] = send_packet(flow_engine, key, SETTLED_TIME + 1, flags=0, length=9)
-    assert isinstance(search, SendToPeer)
-    assert search.passing.stage == Stage.LOOKUP
+    [lookup] = send_packet(flow_engine, key, SETTLED_TIME + 1, flags=0, length=9)
+    assert isinstance(lookup, SendToPeer)
+    assert lookup.passing.stage == Stage.LOOKUP
     miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
     datagram = engine_tests.make_segment(key, flags=0, length=9)
     answer = flow_engine.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED_TIME + 1)
