--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -163,10 +163,10 @@
     rank = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
     first = make_segment(key, FLAG_SYN, seq=99)
     ingress, owner, backup = engines[rank[2]], engines[rank[0]], engines[rank[1]]
-    (passed,) = ingress.handle(CallerPacket(first), SETTLED_TIME)
-    assert isinstance(passed, SendToPeer)
-    assert (passed.vm, passed.passing.stage) == (rank[0], Stage.TO_OWNER)
-    peer = PeerPacket(VmId(rank[2]), passed.passing, first)
+    (forwarded,) = ingress.handle(CallerPacket(first), SETTLED_TIME)
+    assert isinstance(forwarded, SendToPeer)
+    assert (forwarded.vm, forwarded.passing.stage) == (rank[0], Stage.TO_OWNER)
+    peer = PeerPacket(VmId(rank[2]), forwarded.passing, first)
     assert action_names(owner.handle(peer, SETTLED_TIME)) == ["AskPlacement"]
     actions = owner.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
     assert action_names(actions) == ["WorkStarted", "SendToPeer"]
