--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -166,15 +166,15 @@
     (forwarded,) = ingress.handle(CallerPacket(first), SETTLED_TIME)
     assert isinstance(forwarded, SendToPeer)
     assert (forwarded.vm, forwarded.passing.stage) == (rank[0], Stage.TO_OWNER)
-    peer = PeerPacket(VmId(rank[2]), forwarded.passing, first)
-    assert action_names(owner.handle(peer, SETTLED_TIME)) == ["AskPlacement"]
+    peer_packet = PeerPacket(VmId(rank[2]), forwarded.passing, first)
+    assert action_names(owner.handle(peer_packet, SETTLED_TIME)) == ["AskPlacement"]
     actions = owner.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
     assert action_names(actions) == ["WorkStarted", "SendToPeer"]
     store = actions[1]
     assert isinstance(store, SendToPeer)
     assert (store.vm, store.passing.stage) == (rank[1], Stage.STORE)
-    peer = PeerPacket(VmId(rank[0]), store.passing, first)
-    assert backup.handle(peer, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
+    peer_packet = PeerPacket(VmId(rank[0]), store.passing, first)
+    assert backup.handle(peer_packet, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
 
 
 @pytest.mark.parametrize(
