--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -160,20 +160,24 @@
     engines = {name: make_engine(name) for name in names}
     for flow_engine in engines.values():
         flow_engine.handle(ViewChanged(make_vms(*names)), 0.0)
-    rank = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
+    ranked_vms = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
     first = make_segment(key, FLAG_SYN, seq=99)
-    ingress, owner, backup = engines[rank[2]], engines[rank[0]], engines[rank[1]]
+    ingress, owner, backup = (
+        engines[ranked_vms[2]],
+        engines[ranked_vms[0]],
+        engines[ranked_vms[1]],
+    )
     (forwarded,) = ingress.handle(CallerPacket(first), SETTLED_TIME)
     assert isinstance(forwarded, SendToPeer)
-    assert (forwarded.vm, forwarded.passing.stage) == (rank[0], Stage.TO_OWNER)
-    peer_packet = PeerPacket(VmId(rank[2]), forwarded.passing, first)
+    assert (forwarded.vm, forwarded.passing.stage) == (ranked_vms[0], Stage.TO_OWNER)
+    peer_packet = PeerPacket(VmId(ranked_vms[2]), forwarded.passing, first)
     assert action_names(owner.handle(peer_packet, SETTLED_TIME)) == ["AskPlacement"]
     actions = owner.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
     assert action_names(actions) == ["WorkStarted", "SendToPeer"]
     store = actions[1]
     assert isinstance(store, SendToPeer)
-    assert (store.vm, store.passing.stage) == (rank[1], Stage.STORE)
-    peer_packet = PeerPacket(VmId(rank[0]), store.passing, first)
+    assert (store.vm, store.passing.stage) == (ranked_vms[1], Stage.STORE)
+    peer_packet = PeerPacket(VmId(ranked_vms[0]), store.passing, first)
     assert backup.handle(peer_packet, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
 
 
