--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -174,10 +174,10 @@
     assert action_names(owner.handle(peer_packet, SETTLED_TIME)) == ["AskPlacement"]
     actions = owner.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
     assert action_names(actions) == ["WorkStarted", "SendToPeer"]
-    store = actions[1]
-    assert isinstance(store, SendToPeer)
-    assert (store.vm, store.passing.stage) == (ranked_vms[1], Stage.STORE)
-    peer_packet = PeerPacket(VmId(ranked_vms[0]), store.passing, first)
+    store_action = actions[1]
+    assert isinstance(store_action, SendToPeer)
+    assert (store_action.vm, store_action.passing.stage) == (ranked_vms[1], Stage.STORE)
+    peer_packet = PeerPacket(VmId(ranked_vms[0]), store_action.passing, first)
     assert backup.handle(peer_packet, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
 
 
@@ -251,8 +251,8 @@
     actions = flow_engine.handle(
         PeerPacket(VmId("b"), adopt, unseen_answer), SETTLED_TIME
     )
-    [store] = [action for action in actions if isinstance(action, SendToPeer)]
-    assert store.passing.stage == Stage.STORE
+    [store_action] = [action for action in actions if isinstance(action, SendToPeer)]
+    assert store_action.passing.stage == Stage.STORE
 
 
 def owns_flow(flow_engine: FlowEngine, key: FlowKey) -> bool:
