Rename store to store_header

It says what the value is. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -183,8 +183,8 @@
     key = engine_tests.make_flow_key(1)
     first = engine_tests.make_segment(key, FLAG_SYN, seq=99)
     for binding in (here, there):
-        store = Passing(Stage.STORE, 0, binding)
-        flow_engine.handle(PeerPacket(VmId("b"), store, first), SETTLED_TIME)
+        store_header = Passing(Stage.STORE, 0, binding)
+        flow_engine.handle(PeerPacket(VmId("b"), store_header, first), SETTLED_TIME)
     assert (
         flow_engine.state.server_address_of(flow_engine.state.table.slots[key])
         == server
