--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -247,9 +247,9 @@
     unseen_answer = make_segment(key, seq=100, ack=500, length=20)
     [lookup] = flow_engine.handle(CallerPacket(unseen_answer), SETTLED_TIME)
     assert lookup.passing.stage == Stage.LOOKUP
-    adopt = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
+    adopt_header = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
     actions = flow_engine.handle(
-        PeerPacket(VmId("b"), adopt, unseen_answer), SETTLED_TIME
+        PeerPacket(VmId("b"), adopt_header, unseen_answer), SETTLED_TIME
     )
     [store_action] = [action for action in actions if isinstance(action, SendToPeer)]
     assert store_action.passing.stage == Stage.STORE
