--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -150,9 +150,11 @@
     [lookup] = send_packet(flow_engine, key, SETTLED_TIME + 1, flags=0, length=9)
     assert isinstance(lookup, SendToPeer)
     assert lookup.passing.stage == Stage.LOOKUP
-    miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
+    miss_header = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
     datagram = engine_tests.make_segment(key, flags=0, length=9)
-    answer = flow_engine.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED_TIME + 1)
+    answer = flow_engine.handle(
+        PeerPacket(VmId("c"), miss_header, datagram), SETTLED_TIME + 1
+    )
     assert engine_tests.action_names(answer) == [expected]
 
 
