Rename lost to lost_vms

It says what the value is. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -131,7 +131,7 @@
 
 
 @pytest.mark.parametrize(
-    ("lost", "suspect", "expected"),
+    ("lost_vms", "suspect", "expected"),
     [
         ((), False, "AskPlacement"),
         (("b",), False, "ResetCaller"),
@@ -139,11 +139,11 @@
     ],
 )
 def test_unknown_udp_flow_is_reset_after_the_loss_of_a_vm(
-    lost, suspect, expected
+    lost_vms, suspect, expected
 ) -> None:
     flow_engine = engine_tests.make_engine()
     flow_engine.handle(
-        ViewChanged(engine_tests.make_vms("a", "c"), tuple(map(VmId, lost))),
+        ViewChanged(engine_tests.make_vms("a", "c"), tuple(map(VmId, lost_vms))),
         SETTLED_TIME,
     )
     key = find_owned_key(flow_engine, protocol=17)
