Rename suspect to record_maybe_lost

It says what the value is. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -131,7 +131,7 @@
 
 
 @pytest.mark.parametrize(
-    ("lost_vms", "suspect", "expected"),
+    ("lost_vms", "record_maybe_lost", "expected"),
     [
         ((), False, "AskPlacement"),
         (("b",), False, "ResetCaller"),
@@ -139,7 +139,7 @@
     ],
 )
 def test_unknown_udp_flow_is_reset_after_the_loss_of_a_vm(
-    lost_vms, suspect, expected
+    lost_vms, record_maybe_lost, expected
 ) -> None:
     flow_engine = engine_tests.make_engine()
     flow_engine.handle(
@@ -150,7 +150,7 @@
     [lookup] = send_packet(flow_engine, key, SETTLED_TIME + 1, flags=0, length=9)
     assert isinstance(lookup, SendToPeer)
     assert lookup.passing.stage == Stage.LOOKUP
-    miss_header = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
+    miss_header = Passing(Stage.MISS, 2, None, VmId("a"), record_maybe_lost)
     datagram = engine_tests.make_segment(key, flags=0, length=9)
     answer = flow_engine.handle(
         PeerPacket(VmId("c"), miss_header, datagram), SETTLED_TIME + 1
