--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -170,7 +170,7 @@
 
 
 @pytest.mark.parametrize(
-    ("own_binding", "there", "server"),
+    ("own_binding", "received_binding", "server"),
     [
         (Binding(SERVER, 1, 1), Binding(OTHER_SERVER, 1, 2), OTHER_SERVER),
         (Binding(SERVER, 1, 2), Binding(OTHER_SERVER, 1, 1), SERVER),
@@ -180,11 +180,13 @@
         (Binding(OTHER_SERVER, 1, 1), Binding(SERVER, 1, 1), min(SERVER, OTHER_SERVER)),
     ],
 )
-def test_conflicting_bindings_resolve_to_one_server(own_binding, there, server) -> None:
+def test_conflicting_bindings_resolve_to_one_server(
+    own_binding, received_binding, server
+) -> None:
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     first = engine_tests.make_segment(key, FLAG_SYN, seq=99)
-    for binding in (own_binding, there):
+    for binding in (own_binding, received_binding):
         store_header = Passing(Stage.STORE, 0, binding)
         flow_engine.handle(PeerPacket(VmId("b"), store_header, first), SETTLED_TIME)
     assert (
