--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -203,7 +203,8 @@
         engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(port))
     flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
     flow_engine.state.ranking.ranked_vms = {
-        place: [VmId("a"), VmId("b")] for place in flow_engine.state.ranking.ranked_vms
+        service_key: [VmId("a"), VmId("b")]
+        for service_key in flow_engine.state.ranking.ranked_vms
     }
     batches = []
     for step in range(1, 101):
@@ -295,8 +296,8 @@
     flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
     backup = "b" if owner == "a" else "a"
     flow_engine.state.ranking.ranked_vms = {
-        place: [VmId(owner), VmId(backup)]
-        for place in flow_engine.state.ranking.ranked_vms
+        service_key: [VmId(owner), VmId(backup)]
+        for service_key in flow_engine.state.ranking.ranked_vms
     }
     actions = run_ticks(flow_engine, SETTLED_TIME, 5.0)
     resets = [one for one in actions if isinstance(one, ResetCaller)]
