--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -212,8 +212,8 @@
         for action in flow_engine.handle(Tick(), now):
             if isinstance(action, SendMessage):
                 batches.append(action.message)
-                stored = BatchStored(action.message.batch_number)
-                flow_engine.handle(PeerMessage(action.vm, stored), now)
+                confirmation = BatchStored(action.message.batch_number)
+                flow_engine.handle(PeerMessage(action.vm, confirmation), now)
     sizes = [len(FLOW_MESSAGES.encode(batch)) for batch in batches]
     assert sum(sizes) <= 500 * 10 + 500
     keys = [record.key for batch in batches for record in batch.records]
