Rename batch to unconfirmed_batches

It says what the value is. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -228,11 +228,11 @@
     unconfirmed = run_ticks(flow_engine, SETTLED_TIME, 20.0)
     assert not any(isinstance(action, Quiet) for action in unconfirmed)
     flow_engine.state.table.backup_vms[0] = 0
-    batch = flow_engine.table_sweep.batch_exchange.unconfirmed_batches
+    unconfirmed_batches = flow_engine.table_sweep.batch_exchange.unconfirmed_batches
     for step in range(300):
         now = SETTLED_TIME + 20 + step / 10
         actions = flow_engine.handle(Tick(), now)
-        for number in list(batch):
+        for number in list(unconfirmed_batches):
             flow_engine.handle(PeerMessage(VmId("b"), BatchStored(number)), now)
         if any(isinstance(action, Quiet) for action in actions):
             return
