--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -239,8 +239,12 @@
     raise AssertionError("the handover was never reported as complete")
 
 
-@pytest.mark.parametrize(("protocol", "status_seconds"), [(6, 14_400.0), (17, 30.0)])
-def test_idle_flows_expire_by_protocol(protocol: int, status_seconds: float) -> None:
+@pytest.mark.parametrize(
+    ("protocol", "idle_limit_seconds"), [(6, 14_400.0), (17, 30.0)]
+)
+def test_idle_flows_expire_by_protocol(
+    protocol: int, idle_limit_seconds: float
+) -> None:
     settings = FlowSettings(sweep_seconds=0.1, probes_per_second=0.0)
     flow_engine = engine_tests.make_engine(settings=settings)
     key = engine_tests.make_flow_key(1, protocol)
@@ -249,9 +253,9 @@
     else:
         send_packet(flow_engine, key, SETTLED_TIME, flags=0, length=4)
         flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
-    run_ticks(flow_engine, SETTLED_TIME + status_seconds - 3, 2.0)
+    run_ticks(flow_engine, SETTLED_TIME + idle_limit_seconds - 3, 2.0)
     assert key in flow_engine.state.table.slots
-    run_ticks(flow_engine, SETTLED_TIME + status_seconds, 2.0)
+    run_ticks(flow_engine, SETTLED_TIME + idle_limit_seconds, 2.0)
     assert key not in flow_engine.state.table.slots
 
 
