--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -244,12 +244,12 @@
     )
     flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
     flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
-    unseen_answer = make_segment(key, seq=100, ack=500, length=20)
-    [lookup] = flow_engine.handle(CallerPacket(unseen_answer), SETTLED_TIME)
+    ack_of_unseen_reply = make_segment(key, seq=100, ack=500, length=20)
+    [lookup] = flow_engine.handle(CallerPacket(ack_of_unseen_reply), SETTLED_TIME)
     assert lookup.passing.stage == Stage.LOOKUP
     adopt_header = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
     actions = flow_engine.handle(
-        PeerPacket(VmId("b"), adopt_header, unseen_answer), SETTLED_TIME
+        PeerPacket(VmId("b"), adopt_header, ack_of_unseen_reply), SETTLED_TIME
     )
     [store_action] = [action for action in actions if isinstance(action, SendToPeer)]
     assert store_action.passing.stage == Stage.STORE
