--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -182,11 +182,11 @@
 
 
 @pytest.mark.parametrize(
-    ("announced", "reaches"),
+    ("announced", "is_forwarded"),
     [(ENTRIES, True), (None, True), (PAGESETTER, False)],
 )
 def test_open_flow_is_reset_if_its_server_announces_another_service(
-    announced: ServiceName | None, reaches: bool
+    announced: ServiceName | None, is_forwarded: bool
 ) -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
@@ -195,11 +195,11 @@
     flow_engine.handle(make_routes(*servers, revision=2), SETTLED_TIME)
     assert (
         flow_engine.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED_TIME) == SERVER
-    ) == reaches
+    ) == is_forwarded
     late = make_segment(key, seq=105, ack=500, length=5)
     actions = action_names(flow_engine.handle(CallerPacket(late), SETTLED_TIME))
-    assert ("SendToServer" in actions) == reaches
-    assert ("ResetCaller" in actions) != reaches
+    assert ("SendToServer" in actions) == is_forwarded
+    assert ("ResetCaller" in actions) != is_forwarded
 
 
 def test_new_flow_is_not_bound_to_a_removed_server() -> None:
