--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -196,8 +196,8 @@
     assert (
         flow_engine.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED_TIME) == SERVER
     ) == is_forwarded
-    late = make_segment(key, seq=105, ack=500, length=5)
-    actions = action_names(flow_engine.handle(CallerPacket(late), SETTLED_TIME))
+    later_packet = make_segment(key, seq=105, ack=500, length=5)
+    actions = action_names(flow_engine.handle(CallerPacket(later_packet), SETTLED_TIME))
     assert ("SendToServer" in actions) == is_forwarded
     assert ("ResetCaller" in actions) != is_forwarded
 
