Rename one to action

It says what the value is. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -304,5 +304,5 @@
         for service_key in flow_engine.state.ranking.ranked_vms
     }
     actions = run_ticks(flow_engine, SETTLED_TIME, 5.0)
-    resets = [one for one in actions if isinstance(one, ResetCaller)]
+    resets = [action for action in actions if isinstance(action, ResetCaller)]
     assert bool(resets) == is_repeated
