--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -273,11 +273,11 @@
     rng = random.Random(5)
     for _ in range(300):
         fields = (rng.choice((100, 90, 150)), rng.choice((500, 9)), rng.randrange(2))
-        fast, slow = engine_tests.make_engine(), engine_tests.make_engine()
+        fast_engine, slow = engine_tests.make_engine(), engine_tests.make_engine()
         key = engine_tests.make_flow_key(1)
-        for flow_engine in (fast, slow):
+        for flow_engine in (fast_engine, slow):
             engine_tests.open_flow(flow_engine, key)
-        server = fast.route_caller(
+        server = fast_engine.route_caller(
             key, FLAG_ACK, fields[0], fields[1], fields[2], 101.0
         )
         sent = send_packet(
@@ -285,7 +285,9 @@
         )
         if server is not None:
             assert SendToServer(SERVER, b"packet") in sent
-            assert fast.drain() == [a for a in sent if not isinstance(a, SendToServer)]
+            assert fast_engine.drain() == [
+                a for a in sent if not isinstance(a, SendToServer)
+            ]
 
 
 @pytest.mark.parametrize(("owner", "is_repeated"), [("a", True), ("b", False)])
