--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -273,15 +273,18 @@
     rng = random.Random(5)
     for _ in range(300):
         fields = (rng.choice((100, 90, 150)), rng.choice((500, 9)), rng.randrange(2))
-        fast_engine, slow = engine_tests.make_engine(), engine_tests.make_engine()
+        fast_engine, slow_engine = (
+            engine_tests.make_engine(),
+            engine_tests.make_engine(),
+        )
         key = engine_tests.make_flow_key(1)
-        for flow_engine in (fast_engine, slow):
+        for flow_engine in (fast_engine, slow_engine):
             engine_tests.open_flow(flow_engine, key)
         server = fast_engine.route_caller(
             key, FLAG_ACK, fields[0], fields[1], fields[2], 101.0
         )
         sent = send_packet(
-            slow, key, 101.0, seq=fields[0], ack=fields[1], length=fields[2]
+            slow_engine, key, 101.0, seq=fields[0], ack=fields[1], length=fields[2]
         )
         if server is not None:
             assert SendToServer(SERVER, b"packet") in sent
