--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -97,11 +97,11 @@
         flow_engine, key, SETTLED_TIME, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500
     )
     flow_engine.handle(ServerPacket(fin, SERVER), SETTLED_TIME)
-    later = SETTLED_TIME + 11
+    after_quarantine = SETTLED_TIME + 11
     assert engine_tests.action_names(
-        send_packet(flow_engine, key, later, flags=FLAG_SYN, seq=1)
+        send_packet(flow_engine, key, after_quarantine, flags=FLAG_SYN, seq=1)
     ) == ["AskPlacement"]
-    flow_engine.handle(FlowPlaced(key, OTHER_SERVER), later)
+    flow_engine.handle(FlowPlaced(key, OTHER_SERVER), after_quarantine)
     slot = flow_engine.state.table.slots[key]
     assert flow_engine.state.table.epochs[slot] == 2
 
