--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -225,8 +225,8 @@
     engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
     flow_engine.handle(Leaving(), SETTLED_TIME)
-    unconfirmed = run_ticks(flow_engine, SETTLED_TIME, 20.0)
-    assert not any(isinstance(action, Quiet) for action in unconfirmed)
+    unconfirmed_actions = run_ticks(flow_engine, SETTLED_TIME, 20.0)
+    assert not any(isinstance(action, Quiet) for action in unconfirmed_actions)
     flow_engine.state.table.backup_vms[0] = 0
     unconfirmed_batches = flow_engine.table_sweep.batch_exchange.unconfirmed_batches
     for step in range(300):
