Rename a to action

It says what the value is. Made by text replacement, because the tests reach the name through a module loaded at run time; behaviour is unchanged.

--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -289,7 +289,7 @@
         if server is not None:
             assert SendToServer(SERVER, b"packet") in sent
             assert fast_engine.drain() == [
-                a for a in sent if not isinstance(a, SendToServer)
+                action for action in sent if not isinstance(action, SendToServer)
             ]
 
 
