--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -70,10 +70,10 @@
     return RoutesChanged(revision, services, servers)
 
 
-def make_vms(*names: str) -> tuple[Vm, ...]:
+def make_vms(*vm_names: str) -> tuple[Vm, ...]:
     endpoint = Endpoint("127.0.0.1", 1)
     zone = ZoneName("cnx-a")
-    return tuple(Vm(VmId(name), zone, endpoint, endpoint) for name in names)
+    return tuple(Vm(VmId(name), zone, endpoint, endpoint) for name in vm_names)
 
 
 def make_engine(vm: str = "a", settings: FlowSettings = SETTINGS) -> FlowEngine:
@@ -155,11 +155,11 @@
 
 
 def test_first_packet_reaches_owner_and_backup_before_the_server() -> None:
-    names = ("a", "b", "c")
+    vm_names = ("a", "b", "c")
     key = make_flow_key(1)
-    engines = {name: make_engine(name) for name in names}
+    engines = {name: make_engine(name) for name in vm_names}
     for flow_engine in engines.values():
-        flow_engine.handle(ViewChanged(make_vms(*names)), 0.0)
+        flow_engine.handle(ViewChanged(make_vms(*vm_names)), 0.0)
     ranked_vms = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
     first = make_segment(key, FLAG_SYN, seq=99)
     ingress, owner, backup = (
