--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -69,7 +69,7 @@
 
 
 @pytest.mark.parametrize(
-    ("after", "flags", "expected"),
+    ("seconds_since_close", "flags", "expected"),
     [
         (0.1, FLAG_SYN, Dropped(Refusal.QUARANTINED)),
         (9.9, FLAG_SYN, Dropped(Refusal.QUARANTINED)),
@@ -77,14 +77,14 @@
     ],
 )
 def test_closed_flow_key_stays_bound_to_its_server_in_quarantine(
-    after, flags, expected
+    seconds_since_close, flags, expected
 ) -> None:
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     engine_tests.open_flow(flow_engine, key)
     send_packet(flow_engine, key, SETTLED_TIME, flags=FLAG_RST, seq=100)
     assert send_packet(
-        flow_engine, key, SETTLED_TIME + after, flags=flags, seq=7_000
+        flow_engine, key, SETTLED_TIME + seconds_since_close, flags=flags, seq=7_000
     ) == [expected]
 
 
