--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -108,12 +108,13 @@
 
 def test_a_full_table_refuses_new_flows_and_keeps_open_ones() -> None:
     flow_engine = engine_tests.make_engine(settings=FlowSettings(flow_limit=1))
-    first, second = engine_tests.make_flow_key(1), engine_tests.make_flow_key(2)
-    engine_tests.open_flow(flow_engine, first)
-    refused = send_packet(flow_engine, second, SETTLED_TIME, flags=FLAG_SYN, seq=9)
+    open_key, new_key = engine_tests.make_flow_key(1), engine_tests.make_flow_key(2)
+    engine_tests.open_flow(flow_engine, open_key)
+    refused = send_packet(flow_engine, new_key, SETTLED_TIME, flags=FLAG_SYN, seq=9)
     assert [action.reason for action in refused] == [Refusal.TABLE_FULL]
     assert (
-        flow_engine.route_caller(first, FLAG_ACK, 100, 500, 5, SETTLED_TIME) == SERVER
+        flow_engine.route_caller(open_key, FLAG_ACK, 100, 500, 5, SETTLED_TIME)
+        == SERVER
     )
 
 
