--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -114,10 +114,10 @@
 def test_refused_placement_only_resets_the_caller() -> None:
     flow_engine = make_engine()
     key = make_flow_key(1)
-    first = make_segment(key, FLAG_SYN, seq=99)
-    flow_engine.handle(CallerPacket(first), SETTLED_TIME)
+    first_packet = make_segment(key, FLAG_SYN, seq=99)
+    flow_engine.handle(CallerPacket(first_packet), SETTLED_TIME)
     actions = flow_engine.handle(FlowRefused(key, "busy"), SETTLED_TIME)
-    assert actions == [ResetCaller(first, "busy")]
+    assert actions == [ResetCaller(first_packet, "busy")]
 
 
 def test_caller_reset_cancels_a_pending_placement() -> None:
@@ -161,23 +161,23 @@
     for flow_engine in engines.values():
         flow_engine.handle(ViewChanged(make_vms(*vm_names)), 0.0)
     ranked_vms = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
-    first = make_segment(key, FLAG_SYN, seq=99)
+    first_packet = make_segment(key, FLAG_SYN, seq=99)
     ingress, owner, backup = (
         engines[ranked_vms[2]],
         engines[ranked_vms[0]],
         engines[ranked_vms[1]],
     )
-    (forwarded,) = ingress.handle(CallerPacket(first), SETTLED_TIME)
+    (forwarded,) = ingress.handle(CallerPacket(first_packet), SETTLED_TIME)
     assert isinstance(forwarded, SendToPeer)
     assert (forwarded.vm, forwarded.passing.stage) == (ranked_vms[0], Stage.TO_OWNER)
-    peer_packet = PeerPacket(VmId(ranked_vms[2]), forwarded.passing, first)
+    peer_packet = PeerPacket(VmId(ranked_vms[2]), forwarded.passing, first_packet)
     assert action_names(owner.handle(peer_packet, SETTLED_TIME)) == ["AskPlacement"]
     actions = owner.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
     assert action_names(actions) == ["WorkStarted", "SendToPeer"]
     store_action = actions[1]
     assert isinstance(store_action, SendToPeer)
     assert (store_action.vm, store_action.passing.stage) == (ranked_vms[1], Stage.STORE)
-    peer_packet = PeerPacket(VmId(ranked_vms[0]), store_action.passing, first)
+    peer_packet = PeerPacket(VmId(ranked_vms[0]), store_action.passing, first_packet)
     assert backup.handle(peer_packet, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
 
 
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -186,10 +186,12 @@
 ) -> None:
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
-    first = engine_tests.make_segment(key, FLAG_SYN, seq=99)
+    first_packet = engine_tests.make_segment(key, FLAG_SYN, seq=99)
     for binding in (own_binding, received_binding):
         store_header = Passing(Stage.STORE, 0, binding)
-        flow_engine.handle(PeerPacket(VmId("b"), store_header, first), SETTLED_TIME)
+        flow_engine.handle(
+            PeerPacket(VmId("b"), store_header, first_packet), SETTLED_TIME
+        )
     assert (
         flow_engine.state.server_address_of(flow_engine.state.table.slots[key])
         == server
