--- a/libs/flows/src/kumquatmux_flows/peers.py
+++ b/libs/flows/src/kumquatmux_flows/peers.py
@@ -15,7 +15,7 @@
 
 
 class PeerPacketHandler:
-    """Stores backup copies, answers lookups and corrects outdated owners."""
+    """Stores backup copies, answers lookups and corrects owners with losing records."""
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
         }
 
     def handle_packet(self, packet: PeerPacket, now: float) -> None:
-        """Handle a packet by its stage."""
+        """Handle a packet according to its stage."""
         self.stage_handlers[packet.header.stage](packet, now)
 
     def forward_to_owner(self, packet: PeerPacket) -> bool:
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -87,7 +87,26 @@
         keys: Key of each slot, None for a free slot.
         free_slots: Free slots.
         role_counts: Number of records by role.
+        roles: Role of each slot.
+        statuses: ``FlowStatus`` of each slot.
+        flow_flags: ``FlowFlag`` bits of each slot.
+        strikes: Unanswered packets that each slot counts, ``WAS_RESET`` for a flow
+            that was reset.
+        services: Service number of each slot.
+        servers: Server number of each slot.
+        revisions: Settings revision in force when the flow was placed.
         epochs: Number of times that the key of each slot has been placed.
+        caller_isns: Initial sequence number of the caller.
+        caller_nexts: Next sequence number expected from the caller.
+        server_nexts: Next sequence number expected from the server.
+        server_acks: Last acknowledgement number of the server, 0 if unknown.
+        backup_vms: Number of the VM that got the backup copy, ``NO_VM`` for none.
+        backup_seqs: Sequence number whose acknowledgement by the server shows that
+            the backup VM holds the record.
+        backup_times: Time in seconds at which the backup copy was last sent,
+            received or confirmed.
+        caller_times: Time in seconds of the last packet of the caller.
+        reply_times: Time in seconds of the last packet of the server.
         strike_times: Time in seconds at which each slot last counted an unanswered
             packet or, for a closed flow, at which it was closed.
     """
