--- a/libs/flows/src/kumquatmux_flows/ranking.py
+++ b/libs/flows/src/kumquatmux_flows/ranking.py
@@ -97,12 +97,12 @@
             service_key: Service part of the flow keys.
             zone: Availability zone of the flows' servers, empty if unknown.
         """
-        others = [name for name in self.rank(service_key) if name != self.vm]
+        other_vms = [name for name in self.rank(service_key) if name != self.vm]
         if zone and self.vm_zones.get(self.vm) != zone:
-            for name in others:
+            for name in other_vms:
                 if self.vm_zones.get(name) == zone:
                     return name
-        return others[0] if others else None
+        return other_vms[0] if other_vms else None
 
     def lookup_order(self, service_key: bytes, origin: VmId) -> list[VmId]:
         """Return the VMs that a lookup visits, the likely backup VMs first."""
