--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -171,7 +171,7 @@
 
 
 @pytest.mark.parametrize(
-    ("first_binding", "received_binding", "server"),
+    ("first_binding", "second_binding", "server"),
     [
         (Binding(SERVER, 1, 1), Binding(OTHER_SERVER, 1, 2), OTHER_SERVER),
         (Binding(SERVER, 1, 2), Binding(OTHER_SERVER, 1, 1), SERVER),
@@ -182,12 +182,12 @@
     ],
 )
 def test_conflicting_bindings_resolve_to_one_server(
-    first_binding, received_binding, server
+    first_binding, second_binding, server
 ) -> None:
     flow_engine = engine_tests.make_engine()
     key = engine_tests.make_flow_key(1)
     first_packet = engine_tests.make_segment(key, FLAG_SYN, seq=99)
-    for binding in (first_binding, received_binding):
+    for binding in (first_binding, second_binding):
         store_header = Passing(Stage.STORE, 0, binding)
         flow_engine.handle(
             PeerPacket(VmId("b"), store_header, first_packet), SETTLED_TIME
