--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from kumquatmux_core.segments import Segment
-from kumquatmux_flows.ack_validation import AckValidator
 from kumquatmux_flows.copies import Copies
 from kumquatmux_flows.events import Binding, ResetServer, SendMessage
+from kumquatmux_flows.evidence import AckValidator
 from kumquatmux_flows.messages import LostRecord
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.state import FlowState
--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -4,7 +4,6 @@
 
 from kumquatmux_core.identity import FlowKey, VmId
 from kumquatmux_core.segments import FLAG_FIN, FLAG_RST, FLAG_SYN, Segment
-from kumquatmux_flows.ack_validation import AckValidator
 from kumquatmux_flows.bindings import BindingStore
 from kumquatmux_flows.copies import Copies
 from kumquatmux_flows.events import (
@@ -15,6 +14,7 @@
     SendToPeer,
     Stage,
 )
+from kumquatmux_flows.evidence import AckValidator
 from kumquatmux_flows.placing import Placing
 from kumquatmux_flows.refusals import Refusal
 from kumquatmux_flows.routes import service_key_of
--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -7,7 +7,6 @@
 
 from kumquatmux_core.identity import FlowKey, VmId, ZoneName
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
-from kumquatmux_flows.ack_validation import NARROW_ACK_WINDOW_BYTES
 from kumquatmux_flows.callers import CallerPacketHandler
 from kumquatmux_flows.events import (
     Action,
@@ -27,6 +26,7 @@
     Tick,
     ViewChanged,
 )
+from kumquatmux_flows.evidence import NARROW_ACK_WINDOW_BYTES
 from kumquatmux_flows.messages import BatchStored, RecordBatch
 from kumquatmux_flows.peers import PeerPacketHandler
 from kumquatmux_flows.replies import ReplyHandler
