--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -239,7 +239,7 @@
         state = self.state
         table = state.table
         service_key = service_key_of(record.key)
-        service_number = state.routes.service_number(record.service, service_key)
+        service_number = state.routes.register_service(record.service, service_key)
         server_number = state.routes.server_number(record.server, record.service)
         slot = table.add(record.key, Role.BACKUP, server_number, service_number)
         table.statuses[slot] = record.status
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -53,7 +53,7 @@
         self.current_services = {}
         for service_route in event.services:
             service_key = bytes((service_route.protocol,)) + service_route.address
-            self.current_services[service_key] = self.service_number(
+            self.current_services[service_key] = self.register_service(
                 service_route.service, service_key
             )
         self.in_force = set()
@@ -65,7 +65,7 @@
             self.server_zones[server_number] = server_route.zone
             self.in_force.add(server_number)
 
-    def service_number(self, name: ServiceName, service_key: bytes) -> int:
+    def register_service(self, name: ServiceName, service_key: bytes) -> int:
         """Return the number of a service at a service key, adding it if it is new."""
         number = self.service_numbers.get((name, service_key))
         if number is None:
--- a/libs/flows/src/kumquatmux_flows/state.py
+++ b/libs/flows/src/kumquatmux_flows/state.py
@@ -116,7 +116,7 @@
         """
         if not name:
             return self.current_service_of(key)
-        return self.routes.service_number(name, service_key_of(key))
+        return self.routes.register_service(name, service_key_of(key))
 
     def service_name_of(self, slot: int) -> ServiceName:
         """Return the service name of a record."""
