--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -240,7 +240,7 @@
         table = state.table
         service_key = service_key_of(record.key)
         service_number = state.routes.register_service(record.service, service_key)
-        server_number = state.routes.server_number(record.server, record.service)
+        server_number = state.routes.register_server(record.server, record.service)
         slot = table.add(record.key, Role.BACKUP, server_number, service_number)
         table.statuses[slot] = record.status
         table.server_acks[slot] = record.server_ack
--- a/libs/flows/src/kumquatmux_flows/bindings.py
+++ b/libs/flows/src/kumquatmux_flows/bindings.py
@@ -134,7 +134,7 @@
             return None
         table = state.table
         service_name = state.routes.service_names[service_number]
-        server_number = state.routes.server_number(binding.server, service_name)
+        server_number = state.routes.register_server(binding.server, service_name)
         slot = table.add(segment.key, Role.BACKUP, server_number, service_number)
         table.epochs[slot] = binding.epoch
         table.revisions[slot] = binding.revision
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -116,7 +116,7 @@
         if pending is None:
             state.out.append(FlowClosed(event.key, event.server))
             return []
-        server_number = state.routes.server_number(
+        server_number = state.routes.register_server(
             event.server, state.routes.service_names[pending.service]
         )
         if not state.routes.permits_new_flow(server_number, pending.service):
--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -72,7 +72,7 @@
             service_name = (
                 "" if service_number is None else routes.service_names[service_number]
             )
-            server_number = routes.server_number(server, service_name)  # type: ignore[arg-type]
+            server_number = routes.register_server(server, service_name)  # type: ignore[arg-type]
         return server_number
 
     def add_learned_record(
--- a/libs/flows/src/kumquatmux_flows/routes.py
+++ b/libs/flows/src/kumquatmux_flows/routes.py
@@ -58,7 +58,7 @@
             )
         self.in_force = set()
         for server_route in event.servers:
-            server_number = self.server_number(
+            server_number = self.register_server(
                 server_route.server, server_route.service
             )
             self.announced[server_number] = server_route.service
@@ -75,7 +75,7 @@
             self.service_keys.append(service_key)
         return number
 
-    def server_number(self, address: Address, default_service: ServiceName) -> int:
+    def register_server(self, address: Address, default_service: ServiceName) -> int:
         """Return the number of a server, adding it if it is new.
 
         Args:
