--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -86,20 +86,20 @@
         table = state.table
         server_number = table.servers[slot]
         key = self.reference_flows.get(server_number)
-        reference_slot = self.reference_slot(server_number)
+        slot_to_probe = self.reference_slot(server_number)
         if (
             key is None
-            or reference_slot is None
-            or reference_slot == slot
+            or slot_to_probe is None
+            or slot_to_probe == slot
             or state.probe_budget < 1.0
         ):
             return
         state.probe_budget -= 1.0
         self.probed_servers.add(server_number)
-        seq = table.server_acks[reference_slot] - 1 & SEQUENCE_MASK
-        ack = table.server_nexts[reference_slot]
+        seq = table.server_acks[slot_to_probe] - 1 & SEQUENCE_MASK
+        ack = table.server_nexts[slot_to_probe]
         state.out.append(
-            ProbeServer(key, state.server_address_of(reference_slot), seq, ack)
+            ProbeServer(key, state.server_address_of(slot_to_probe), seq, ack)
         )
 
     def reference_slot(self, server_number: int) -> int | None:
