--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -120,8 +120,8 @@
             return
         if now - table.reply_times[slot] > self.state.settings.probe_idle_seconds:
             return
-        reference_slot = self.reference_slot(table.servers[slot])
-        if reference_slot is None or table.strikes[reference_slot]:
+        current_reference = self.reference_slot(table.servers[slot])
+        if current_reference is None or table.strikes[current_reference]:
             self.reference_flows[table.servers[slot]] = key
 
     def strike(self, slot: int, min_gap_seconds: float, now: float) -> None:
