Rename lookup_order to visit_order

It is the order in which the VMs are visited.

Rename: libs/flows/src/kumquatmux_flows/callers.py lookup_order visit_order

--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -172,8 +172,8 @@
         state = self.state
         if hops >= state.settings.lookup_hop_limit:
             return None
-        lookup_order = state.ranking.lookup_order(service_key_of(key), origin)
-        for vm in lookup_order[hops:]:
+        visit_order = state.ranking.lookup_order(service_key_of(key), origin)
+        for vm in visit_order[hops:]:
             if vm != state.vm:
                 return vm
         return None
