--- a/libs/flows/src/kumquatmux_flows/replies.py
+++ b/libs/flows/src/kumquatmux_flows/replies.py
@@ -98,17 +98,17 @@
         """Evict the oldest learned records until there is space for a new one."""
         state = self.state
         table = state.table
-        learned_keys = state.learned_keys
+        key_queue = state.learned_keys
         while (
             table.role_counts[Role.LEARNED] >= state.settings.learned_limit
-            and learned_keys
+            and key_queue
         ):
-            slot = table.slots.get(learned_keys.popleft())
+            slot = table.slots.get(key_queue.popleft())
             if slot is not None and table.roles[slot] == Role.LEARNED:
                 table.remove(slot)
-        if len(learned_keys) > LEARNED_KEYS_FACTOR * state.settings.learned_limit:
+        if len(key_queue) > LEARNED_KEYS_FACTOR * state.settings.learned_limit:
             state.learned_keys = deque(
-                dict.fromkeys(filter(self.has_learned_record, learned_keys))
+                dict.fromkeys(filter(self.has_learned_record, key_queue))
             )
 
     def has_learned_record(self, key: object) -> bool:
