--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -78,8 +78,8 @@
         """Refill the byte and probe budgets for an elapsed time in seconds."""
         self.batch_exchange.refill_budget(elapsed)
         rate = self.state.settings.probes_per_second
-        probe_budget = self.state.probe_budget + rate * elapsed
-        self.state.probe_budget = min(probe_budget, max(rate * BURST_SECONDS, 1.0))
+        refilled_budget = self.state.probe_budget + rate * elapsed
+        self.state.probe_budget = min(refilled_budget, max(rate * BURST_SECONDS, 1.0))
 
     def take_due_slots(self, elapsed: float) -> int:
         """Return how many slots to visit now and subtract them from those due."""
