--- a/libs/flows/src/kumquatmux_flows/callers.py
+++ b/libs/flows/src/kumquatmux_flows/callers.py
@@ -227,19 +227,19 @@
         A record that was hidden only by differing views is found in the meantime.
         """
         settings = self.state.settings
-        first_miss_times = self.state.first_miss_times
-        first_miss_time = first_miss_times.get(segment.key)
+        miss_times = self.state.first_miss_times
+        first_miss_time = miss_times.get(segment.key)
         if (
             first_miss_time is None
             or now - first_miss_time > settings.half_open_seconds
         ):
-            if len(first_miss_times) >= settings.pending_flow_limit:
-                first_miss_times.clear()
-            first_miss_times[segment.key] = now
+            if len(miss_times) >= settings.pending_flow_limit:
+                miss_times.clear()
+            miss_times[segment.key] = now
             return False
         if now - first_miss_time < settings.view_settle_seconds:
             return False
-        del first_miss_times[segment.key]
+        del miss_times[segment.key]
         return True
 
     def continue_with_own_record(self, slot: int, segment: Segment, now: float) -> None:
