--- a/libs/flows/src/kumquatmux_flows/events.py
+++ b/libs/flows/src/kumquatmux_flows/events.py
@@ -19,7 +19,7 @@
         STORE: The backup VM stores the record and forwards the packet to the server.
         LOOKUP: The record of the packet's flow is looked up.
         ADOPT: The VM that needs the record gets it with the packet.
-        MISS: The lookup has found no record.
+        MISS: The lookup found no record, and the packet returns to its origin.
         REPLY_TO_OWNER: A server's packet goes to the owner of its flow.
         REPLY_CLOSE: The backup VM closes the flow on a server's FIN or RST and
             forwards the packet to the caller.
@@ -61,8 +61,8 @@
         hops: Number of VMs that have forwarded the packet before.
         binding: Binding of the flow, if the purpose needs one.
         origin: For ``LOOKUP``, the VM that started the lookup.
-        suspect: For ``LOOKUP`` and ``MISS``, whether a visited VM recently lost another
-            VM, which may have held the record.
+        record_maybe_lost: For ``LOOKUP`` and ``MISS``, whether a visited VM recently
+            lost another VM, which may have held the record.
     """
 
     stage: Stage
@@ -112,7 +112,7 @@
 
     Attributes:
         live: VMs that packets may be sent to.
-        lost: VMs that left without a handover since the last view.
+        lost_vms: VMs that left without a handover since the last view.
     """
 
     live: tuple[Vm, ...]
