--- a/libs/flows/src/kumquatmux_flows/engine.py
+++ b/libs/flows/src/kumquatmux_flows/engine.py
@@ -350,10 +350,10 @@
         flow_flags = table.flow_flags[slot]
         if not flow_flags & BACKUP_CONFIRMED and table.backup_vms[slot] != NO_VM:
             return False
-        is_known_ack = (
+        can_skip_ack = (
             ack == table.server_acks[slot] and not self.silence_detector.probed_servers
         )
-        if not is_known_ack or flow_flags & WORK_PENDING or table.strikes[slot]:
+        if not can_skip_ack or flow_flags & WORK_PENDING or table.strikes[slot]:
             self.silence_detector.handle_reply_ack(slot, ack, now)
         if payload_length and flow_flags & WORK_PENDING:
             self.state.finish_work(slot)
