--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -1,4 +1,4 @@
-"""Finding flows that their server no longer answers for, and ending them."""
+"""Detection and reset of flows that their server no longer answers."""
 
 from __future__ import annotations
 
@@ -15,136 +15,156 @@
 from kumquatmux_flows.table import (
     SEQUENCE_MASK,
     WAS_RESET,
+    FlowFlag,
     FlowStatus,
-    Mark,
     Role,
-    is_after,
-    is_at_least,
+    seq_after,
+    seq_at_or_after,
 )
 
 
 class Silence:
-    """Counts what a server left unanswered while it answered other flows.
+    """Counts unanswered packets of a flow while its server answers other flows.
 
-    A strike is a retransmission or a probe without answer. It counts only when the
-    server answered another flow's packet of this VM in the meantime: a server that is
-    busy, gone or cut off answers nobody, and that is no fault of one flow. Where no
-    other flow has anything to be answered, one of them is probed as a witness.
+    Retransmissions and unanswered probes of a flow are counted. After the first one
+    they count only if the server has answered a packet of this VM since the last one:
+    a server that is busy, down or cut off answers no flow at all. In case no other flow
+    waits for an answer, a reference flow of the server is probed as well.
 
     Attributes:
-        witnesses: The flow each server number answered last.
-        asked: Server numbers whose witness was probed and has not answered.
-        suspects: When each flow that was probed is to be probed again, in seconds.
+        reference_flows: Reference flow of each server number, one that it answered.
+        probed_servers: Server numbers whose reference flow was probed without answer.
+        probe_due_times: Time in seconds at which each probed flow is probed again.
     """
 
     def __init__(self, state: FlowState) -> None:
         self.state = state
-        self.witnesses: dict[int, FlowKey] = {}
-        self.asked: set[int] = set()
-        self.suspects: dict[FlowKey, float] = {}
+        self.reference_flows: dict[int, FlowKey] = {}
+        self.probed_servers: set[int] = set()
+        self.probe_due_times: dict[FlowKey, float] = {}
 
-    def answered(self, slot: int, ack: int, now: float) -> None:
-        """Note a reply: it ends the silence if it acknowledges all, or more."""
+    def handle_reply_ack(self, slot: int, ack: int, now: float) -> None:
+        """Handle the acknowledgement number of a reply.
+
+        It ends the silence of the flow if it is new or covers all bytes of the caller.
+        """
         table = self.state.table
-        known = table.server_acks[slot]
-        progress = known == 0 or is_after(ack, known)
-        if progress:
+        last_ack = table.server_acks[slot]
+        is_new_ack = last_ack == 0 or seq_after(ack, last_ack)
+        if is_new_ack:
             table.server_acks[slot] = ack
-        whole = is_at_least(ack, table.caller_nexts[slot])
-        if not whole and not progress:
+        covers_all = seq_at_or_after(ack, table.caller_nexts[slot])
+        if not covers_all and not is_new_ack:
             return
-        if table.strikes[slot] or (whole and table.marks[slot] & Mark.WORKING):
-            self.note_answer(slot, now)
-        elif table.servers[slot] in self.asked:
-            self.take_witness(slot, now)
+        if table.strikes[slot] or (
+            covers_all and table.flow_flags[slot] & FlowFlag.WORK_PENDING
+        ):
+            self.record_answer(slot, now)
+        elif table.servers[slot] in self.probed_servers:
+            self.record_reference_answer(slot, now)
         table.strikes[slot] = 0
 
-    def note_answer(self, slot: int, now: float) -> None:
-        """Remember that a server answered a packet of this VM."""
+    def record_answer(self, slot: int, now: float) -> None:
+        """Record that the server of a flow answered a packet of this VM."""
         table = self.state.table
         key = table.keys[slot]
-        server = table.servers[slot]
-        self.state.routes.answered[server] = now
+        server_number = table.servers[slot]
+        self.state.routes.answer_times[server_number] = now
         if key is not None:
-            self.witnesses[server] = key
-        self.asked.discard(server)
+            self.reference_flows[server_number] = key
+        self.probed_servers.discard(server_number)
 
-    def take_witness(self, slot: int, now: float) -> None:
-        """Note the answer of the flow that was probed as a witness."""
+    def record_reference_answer(self, slot: int, now: float) -> None:
+        """Record the answer of a server to the probe of its reference flow."""
         table = self.state.table
-        if self.witnesses.get(table.servers[slot]) == table.keys[slot]:
-            self.note_answer(slot, now)
+        if self.reference_flows.get(table.servers[slot]) == table.keys[slot]:
+            self.record_answer(slot, now)
 
-    def ask_witness(self, slot: int) -> None:
-        """Probe another flow of a server, to learn whether it answers anybody."""
+    def probe_reference_flow(self, slot: int) -> None:
+        """Probe the reference flow of a server to test whether the server answers."""
         state = self.state
         table = state.table
-        server = table.servers[slot]
-        key = self.witnesses.get(server)
-        other = self.witness_slot(server)
-        if key is None or other is None or other == slot or state.probes_left < 1.0:
+        server_number = table.servers[slot]
+        key = self.reference_flows.get(server_number)
+        slot_to_probe = self.reference_slot(server_number)
+        if (
+            key is None
+            or slot_to_probe is None
+            or slot_to_probe == slot
+            or state.probe_budget < 1.0
+        ):
             return
-        state.probes_left -= 1.0
-        self.asked.add(server)
-        seq = table.server_acks[other] - 1 & SEQUENCE_MASK
-        ack = table.server_nexts[other]
-        state.out.append(ProbeServer(key, state.address_of(other), seq, ack))
-
-    def witness_slot(self, server: int) -> int | None:
-        """Return the slot of a server's witness, None if it can be none any more."""
+        state.probe_budget -= 1.0
+        self.probed_servers.add(server_number)
+        seq = table.server_acks[slot_to_probe] - 1 & SEQUENCE_MASK
+        ack = table.server_nexts[slot_to_probe]
+        state.out.append(
+            ProbeServer(key, state.server_address_of(slot_to_probe), seq, ack)
+        )
+
+    def reference_slot(self, server_number: int) -> int | None:
+        """Return the slot of a server's reference flow, None if it is not usable."""
         table = self.state.table
-        key = self.witnesses.get(server)
+        key = self.reference_flows.get(server_number)
         slot = None if key is None else table.slots.get(key)
-        if slot is None or table.servers[slot] != server:
+        if slot is None or table.servers[slot] != server_number:
             return None
-        if table.roles[slot] != Role.OWNER or not self.state.permits(slot):
+        if table.roles[slot] != Role.OWNER or not self.state.server_permitted(slot):
             return None
         return slot if table.statuses[slot] == FlowStatus.ESTABLISHED else None
 
-    def offer_witness(self, slot: int, key: FlowKey, now: float) -> None:
-        """Let a flow that hears its server be the witness if there is no good one."""
+    def offer_reference_flow(self, slot: int, key: FlowKey, now: float) -> None:
+        """Make an answered flow the reference flow if its server has no usable one."""
         table = self.state.table
         if table.statuses[slot] != FlowStatus.ESTABLISHED or table.strikes[slot]:
             return
         if now - table.reply_times[slot] > self.state.settings.probe_idle_seconds:
             return
-        witness = self.witness_slot(table.servers[slot])
-        if witness is None or table.strikes[witness]:
-            self.witnesses[table.servers[slot]] = key
+        current_reference = self.reference_slot(table.servers[slot])
+        if current_reference is None or table.strikes[current_reference]:
+            self.reference_flows[table.servers[slot]] = key
 
-    def strike(self, slot: int, gap: float, now: float) -> None:
-        """Note a retransmission or probe, at most one in a gap of seconds."""
+    def strike(self, slot: int, min_gap_seconds: float, now: float) -> None:
+        """Count a retransmission or probe, but not two within a gap.
+
+        Args:
+            slot: Table slot of the flow.
+            min_gap_seconds: Least time between two counted packets.
+            now: Time in seconds.
+        """
         state = self.state
         table = state.table
-        latest = table.strike_times[slot]
+        last_counted_time = table.strike_times[slot]
         if table.strikes[slot] == 0:
             table.strikes[slot] = 1
-        elif now - latest < gap:
+        elif now - last_counted_time < min_gap_seconds:
             return
-        elif state.routes.answered[table.servers[slot]] > latest:
+        elif state.routes.answer_times[table.servers[slot]] > last_counted_time:
             table.strikes[slot] = min(table.strikes[slot] + 1, WAS_RESET - 1)
         table.strike_times[slot] = now
-        self.ask_witness(slot)
+        self.probe_reference_flow(slot)
 
-    def retransmitted(self, slot: int, segment: Segment, now: float) -> None:
-        """Note a retransmission, and reset the flow when it was one too many."""
+    def handle_retransmission(self, slot: int, segment: Segment, now: float) -> None:
+        """Count a retransmission and reset the flow if the limit is exceeded."""
         state = self.state
         settings = state.settings
-        gap = settings.silent_seconds / settings.silent_retransmits
-        self.strike(slot, gap, now)
-        if state.table.strikes[slot] <= settings.silent_retransmits:
+        min_gap_seconds = settings.silent_seconds / settings.silent_retransmit_limit
+        self.strike(slot, min_gap_seconds, now)
+        if state.table.strikes[slot] <= settings.silent_retransmit_limit:
             return
-        state.out.append(ResetServer(segment.key, state.address_of(slot), segment.seq))
+        state.out.append(
+            ResetServer(segment.key, state.server_address_of(slot), segment.seq)
+        )
         state.out.append(ResetCaller(segment, Refusal.SILENT))
-        self.end(slot, Refusal.SILENT, now)
+        self.close_reset_flow(slot, Refusal.SILENT, now)
 
-    def end(self, slot: int, reason: Refusal, now: float) -> None:
+    def close_reset_flow(self, slot: int, reason: Refusal, now: float) -> None:
         """Close a flow that was reset."""
-        self.state.close(slot, reason, now)
+        self.state.close_flow(slot, reason, now)
         self.state.table.strikes[slot] = WAS_RESET
 
-    def probe(self, slot: int, key: FlowKey, now: float) -> None:
-        """Ask both ends of an idle TCP flow whether they still know it."""
+    def probe_idle_flow(self, slot: int, key: FlowKey, now: float) -> None:
+        """Probe both ends of an idle TCP flow, or reset it if the limit is exceeded."""
         state = self.state
         table = state.table
         settings = state.settings
@@ -152,71 +172,77 @@
             return
         if now - table.reply_times[slot] < settings.probe_idle_seconds:
             return
-        waited = now - table.strike_times[slot]
-        if table.strikes[slot] and waited < settings.probe_interval_seconds:
+        since_last_probe = now - table.strike_times[slot]
+        if table.strikes[slot] and since_last_probe < settings.probe_interval_seconds:
             return
-        if state.probes_left < 1.0:
+        if state.probe_budget < 1.0:
             return
-        state.probes_left -= 1.0
+        state.probe_budget -= 1.0
         self.strike(slot, settings.probe_interval_seconds, now)
         if table.strikes[slot] > settings.probe_limit:
             self.send_resets(slot, key, Refusal.SILENT)
-            self.end(slot, Refusal.SILENT, now)
+            self.close_reset_flow(slot, Refusal.SILENT, now)
             return
         self.send_probes(slot, key)
-        self.suspects[key] = now + settings.probe_interval_seconds
+        self.probe_due_times[key] = now + settings.probe_interval_seconds
 
-    def ask_suspects(self, now: float) -> None:
-        """Probe again, without waiting for the sweep, what has not answered."""
+    def probe_due_flows(self, now: float) -> None:
+        """Probe unanswered flows again when due, without waiting for the sweep."""
         table = self.state.table
-        for key in [key for key, due in self.suspects.items() if due < now]:
-            del self.suspects[key]
+        for key in [
+            key for key, due_time in self.probe_due_times.items() if due_time < now
+        ]:
+            del self.probe_due_times[key]
             slot = table.slots.get(key)
             if slot is None or table.roles[slot] != Role.OWNER:
                 continue
-            if not self.state.permits(slot):
+            if not self.state.server_permitted(slot):
                 continue
             if table.strikes[slot]:
-                self.probe(slot, key, now)
+                self.probe_idle_flow(slot, key, now)
 
     def send_probes(self, slot: int, key: FlowKey) -> None:
-        """Send one keepalive probe to each end whose numbers are known.
+        """Send one keepalive probe to each end whose sequence numbers are known.
 
-        A probe carries the last byte that its receiver acknowledged, and acknowledges
-        nothing that the other end did not.
+        The sequence number of a probe is that of the last byte its receiver
+        acknowledged. Its acknowledgement number is the other end's last one.
         """
         state = self.state
         table = state.table
         server_ack = table.server_acks[slot]
         caller_ack = table.server_nexts[slot]
         seq = (server_ack or table.caller_nexts[slot]) - 1 & SEQUENCE_MASK
-        state.out.append(ProbeServer(key, state.address_of(slot), seq, caller_ack))
-        if server_ack and table.marks[slot] & Mark.SERVER_SEEN:
+        state.out.append(
+            ProbeServer(key, state.server_address_of(slot), seq, caller_ack)
+        )
+        if server_ack and table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN:
             seq = caller_ack - 1 & SEQUENCE_MASK
             state.out.append(ProbeCaller(key, seq, server_ack))
 
     def send_resets(self, slot: int, key: FlowKey, reason: Refusal) -> None:
-        """Send a reset to each end with the numbers known here.
+        """Reset both ends with the sequence numbers known to this VM.
 
-        A caller that has moved on ignores it, but answers the probe with its own
-        numbers, and then gets a reset that carries these.
+        A caller with newer numbers ignores the reset but answers the probe sent with
+        it. The answer carries the numbers for a reset that it accepts.
         """
         state = self.state
         table = state.table
         server_ack = table.server_acks[slot] or table.caller_nexts[slot]
         caller_ack = table.server_nexts[slot]
-        if state.permits(slot):
-            state.out.append(ResetServer(key, state.address_of(slot), server_ack))
+        if state.server_permitted(slot):
+            state.out.append(
+                ResetServer(key, state.server_address_of(slot), server_ack)
+            )
         segment = Segment(key, FLAG_ACK, server_ack, caller_ack, 0, b"")
         state.out.append(ResetCaller(segment, reason))
-        before = caller_ack - 1 & SEQUENCE_MASK
-        state.out.append(ProbeCaller(key, before, server_ack))
+        probe_seq = caller_ack - 1 & SEQUENCE_MASK
+        state.out.append(ProbeCaller(key, probe_seq, server_ack))
 
     def repeat_reset(self, slot: int, key: FlowKey, now: float) -> None:
-        """Reset a silent flow again while its key is in quarantine: resets get lost."""
+        """Reset a silent flow again during its quarantine, since resets can be lost."""
         state = self.state
-        if state.table.strikes[slot] != WAS_RESET or state.probes_left < 1.0:
+        if state.table.strikes[slot] != WAS_RESET or state.probe_budget < 1.0:
             return
-        if state.quarantined(slot, now):
-            state.probes_left -= 1.0
+        if state.is_quarantined(slot, now):
+            state.probe_budget -= 1.0
             self.send_resets(slot, key, Refusal.SILENT)
--- a/libs/flows/src/kumquatmux_flows/tracking.py
+++ b/libs/flows/src/kumquatmux_flows/tracking.py
@@ -1,22 +1,22 @@
-"""How far a flow has come, by the packets of its caller."""
+"""Tracking of the progress of flows by the packets of their callers."""
 
 from __future__ import annotations
 
 from kumquatmux_core.segments import FLAG_ACK, FLAG_FIN, FLAG_RST, Segment
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import FlowStatus, Mark, end_of, is_after
+from kumquatmux_flows.table import FlowFlag, FlowStatus, next_seq, seq_after
 
 
-class Tracking:
-    """Follows handshake, work and end of the flows this VM owns."""
+class FlowTracker:
+    """Tracks the handshake, the work and the end of the flows that this VM owns."""
 
-    def __init__(self, state: FlowState, silence: Silence) -> None:
+    def __init__(self, state: FlowState, silence_detector: Silence) -> None:
         self.state = state
-        self.silence = silence
+        self.silence_detector = silence_detector
 
-    def track(self, slot: int, segment: Segment, now: float) -> None:
-        """Follow handshake, work and retransmissions of a flow."""
+    def track_packet(self, slot: int, segment: Segment, now: float) -> None:
+        """Track the handshake, the work and the retransmissions of a flow."""
         table = self.state.table
         if segment.opens:
             table.caller_isns[slot] = segment.seq
@@ -26,46 +26,50 @@
             self.track_ack(slot, segment)
         if segment.payload_length:
             self.track_payload(slot, segment, now)
-        elif is_after(end_of(segment), table.caller_nexts[slot]) or segment.opens:
-            table.caller_nexts[slot] = end_of(segment)
-            table.marks[slot] |= Mark.CALLER_SEEN
+        elif seq_after(next_seq(segment), table.caller_nexts[slot]) or segment.opens:
+            table.caller_nexts[slot] = next_seq(segment)
+            table.flow_flags[slot] |= FlowFlag.CALLER_NEXT_KNOWN
 
     def track_ack(self, slot: int, segment: Segment) -> None:
-        """Learn from an acknowledgement what the server has sent."""
+        """Update the server's next sequence number from an acknowledgement."""
         table = self.state.table
-        seen = table.marks[slot] & Mark.SERVER_SEEN
-        if not seen or is_after(segment.ack, table.server_nexts[slot]):
+        next_known = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
+        if not next_known or seq_after(segment.ack, table.server_nexts[slot]):
             table.server_nexts[slot] = segment.ack
-            table.marks[slot] |= Mark.SERVER_SEEN
+            table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
 
     def track_payload(self, slot: int, segment: Segment, now: float) -> None:
-        """Count new bytes as work and old ones as a sign of silence."""
+        """Count new bytes as work and old bytes as a retransmission."""
         table = self.state.table
-        end = end_of(segment)
-        seen = table.marks[slot] & Mark.CALLER_SEEN
-        table.marks[slot] &= ~Mark.PROVISIONAL & 0xFF
-        if segment.is_tcp and seen and not is_after(end, table.caller_nexts[slot]):
-            self.silence.retransmitted(slot, segment, now)
+        end_seq = next_seq(segment)
+        next_known = table.flow_flags[slot] & FlowFlag.CALLER_NEXT_KNOWN
+        table.flow_flags[slot] &= ~FlowFlag.WORK_PROVISIONAL & 0xFF
+        if (
+            segment.is_tcp
+            and next_known
+            and not seq_after(end_seq, table.caller_nexts[slot])
+        ):
+            self.silence_detector.handle_retransmission(slot, segment, now)
             return
-        table.caller_nexts[slot] = end
-        table.marks[slot] |= Mark.CALLER_SEEN
+        table.caller_nexts[slot] = end_seq
+        table.flow_flags[slot] |= FlowFlag.CALLER_NEXT_KNOWN
         self.state.start_work(slot)
 
-    def track_end(self, slot: int, segment: Segment, now: float) -> None:
-        """Follow the end of a flow, or find that it went silent."""
+    def track_close(self, slot: int, segment: Segment, now: float) -> None:
+        """Close a flow on RST and track its FIN."""
         state = self.state
         table = state.table
         if segment.flags & FLAG_RST:
-            state.close(slot, "reset-by-caller", now)
+            state.close_flow(slot, "reset-by-caller", now)
         elif segment.flags & FLAG_FIN:
-            table.marks[slot] |= Mark.CALLER_FIN
-            self.closing(slot, now)
+            table.flow_flags[slot] |= FlowFlag.CALLER_FIN
+            self.handle_fin(slot, now)
 
-    def closing(self, slot: int, now: float) -> None:
-        """Follow a FIN: the second one ends the flow."""
+    def handle_fin(self, slot: int, now: float) -> None:
+        """Handle a FIN; the flow is closed once both ends have sent one."""
         table = self.state.table
-        marks = table.marks[slot]
-        if marks & Mark.CALLER_FIN and marks & Mark.SERVER_FIN:
-            self.state.close(slot, "finished", now)
+        flow_flags = table.flow_flags[slot]
+        if flow_flags & FlowFlag.CALLER_FIN and flow_flags & FlowFlag.SERVER_FIN:
+            self.state.close_flow(slot, "finished", now)
         elif table.statuses[slot] != FlowStatus.CLOSED:
             table.statuses[slot] = FlowStatus.CLOSING
--- a/libs/flows/tests/test_engine.py
+++ b/libs/flows/tests/test_engine.py
@@ -41,25 +41,25 @@
 SERVICE = Endpoint("127.66.0.50", 80).packed
 OTHER_SERVICE = Endpoint("127.66.0.51", 80).packed
 SERVER = Endpoint("127.66.0.1", 9001).packed
-SECOND = Endpoint("127.66.0.2", 9001).packed
-SETTLED = 100.0
+OTHER_SERVER = Endpoint("127.66.0.2", 9001).packed
+SETTLED_TIME = 100.0
 SETTINGS = FlowSettings()
 
 
-def key_of(port: int, protocol: int = 6, service: bytes = SERVICE) -> FlowKey:
+def make_flow_key(port: int, protocol: int = 6, service: bytes = SERVICE) -> FlowKey:
     caller = Endpoint("127.66.0.9", port).packed
     return FlowKey(
         bytes((protocol,)) + caller[:4] + service[:4] + caller[4:] + service[4:]
     )
 
 
-def segment(
+def make_segment(
     key: FlowKey, flags: int = FLAG_ACK, seq: int = 0, ack: int = 0, length: int = 0
 ) -> Segment:
     return Segment(key, flags, seq, ack, length, b"packet")
 
 
-def routes(
+def make_routes(
     *servers: ServerRoute, revision: int = 1, protocols: tuple[int, ...] = (6, 17)
 ) -> RoutesChanged:
     services = tuple(
@@ -70,160 +70,190 @@
     return RoutesChanged(revision, services, servers)
 
 
-def vms(*names: str) -> tuple[Vm, ...]:
+def make_vms(*vm_names: str) -> tuple[Vm, ...]:
     endpoint = Endpoint("127.0.0.1", 1)
     zone = ZoneName("cnx-a")
-    return tuple(Vm(VmId(name), zone, endpoint, endpoint) for name in names)
+    return tuple(Vm(VmId(name), zone, endpoint, endpoint) for name in vm_names)
 
 
-def engine(vm: str = "a", settings: FlowSettings = SETTINGS) -> FlowEngine:
-    made = FlowEngine(VmId(vm), settings, random.Random(1))
-    entries = ServerRoute(SERVER, ENTRIES), ServerRoute(SECOND, ENTRIES)
-    made.handle(routes(*entries), 0.0)
-    return made
+def make_engine(vm: str = "a", settings: FlowSettings = SETTINGS) -> FlowEngine:
+    flow_engine = FlowEngine(VmId(vm), settings, random.Random(1))
+    entries = ServerRoute(SERVER, ENTRIES), ServerRoute(OTHER_SERVER, ENTRIES)
+    flow_engine.handle(make_routes(*entries), 0.0)
+    return flow_engine
 
 
-def open_flow(made: FlowEngine, key: FlowKey, now: float = SETTLED) -> None:
-    """Place a flow, alone in view, and finish its handshake."""
-    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), now)
-    made.handle(FlowPlaced(key, SERVER), now)
-    answer = segment(key, FLAG_SYN | FLAG_ACK, seq=499, ack=100)
-    made.handle(ServerPacket(answer, SERVER), now)
-    made.handle(CallerPacket(segment(key, seq=100, ack=500)), now)
+def open_flow(flow_engine: FlowEngine, key: FlowKey, now: float = SETTLED_TIME) -> None:
+    """Place a flow with only this VM in the view and finish its handshake."""
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), now)
+    flow_engine.handle(FlowPlaced(key, SERVER), now)
+    answer = make_segment(key, FLAG_SYN | FLAG_ACK, seq=499, ack=100)
+    flow_engine.handle(ServerPacket(answer, SERVER), now)
+    flow_engine.handle(CallerPacket(make_segment(key, seq=100, ack=500)), now)
 
 
-def kinds(actions: list) -> list[str]:
+def action_names(actions: list) -> list[str]:
     return [type(action).__name__ for action in actions]
 
 
-def test_places_a_first_packet_once() -> None:
-    made = engine()
-    key = key_of(1)
-    syn = CallerPacket(segment(key, FLAG_SYN, seq=99))
-    assert made.handle(syn, SETTLED) == [AskPlacement(key, ENTRIES)]
-    assert made.handle(syn, SETTLED) == [Dropped(Refusal.DUPLICATE)]
-    assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [
+def test_first_packet_requests_one_placement() -> None:
+    flow_engine = make_engine()
+    key = make_flow_key(1)
+    syn = CallerPacket(make_segment(key, FLAG_SYN, seq=99))
+    assert flow_engine.handle(syn, SETTLED_TIME) == [AskPlacement(key, ENTRIES)]
+    assert flow_engine.handle(syn, SETTLED_TIME) == [
+        Dropped(Refusal.DUPLICATE_FIRST_PACKET)
+    ]
+    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME) == [
         WorkStarted(key, SERVER),
         SendToServer(SERVER, b"packet"),
     ]
-    assert made.handle(syn, SETTLED) == [SendToServer(SERVER, b"packet")]
-
-
-def test_refusal_reaches_the_caller_and_no_server() -> None:
-    made = engine()
-    key = key_of(1)
-    first = segment(key, FLAG_SYN, seq=99)
-    made.handle(CallerPacket(first), SETTLED)
-    actions = made.handle(FlowRefused(key, "busy"), SETTLED)
-    assert actions == [ResetCaller(first, "busy")]
-
-
-def test_caller_reset_cancels_a_held_flow() -> None:
-    made = engine()
-    key = key_of(1)
-    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
-    reset = CallerPacket(segment(key, FLAG_RST, seq=100))
-    assert made.handle(reset, SETTLED) == [CancelPlacement(key)]
-    assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [FlowClosed(key, SERVER)]
-
-
-def test_counts_work_by_unanswered_bytes() -> None:
-    made = engine()
-    key = key_of(1)
-    open_flow(made, key)
-    assert made.handle(Tick(), SETTLED + 2) == [WorkAnswered(key, SERVER)]
-    assert made.route_caller(key, FLAG_ACK, 100, 500, 40, SETTLED + 3) == SERVER
-    assert made.route_caller(key, FLAG_ACK, 140, 500, 40, SETTLED + 3) == SERVER
-    assert made.drain() == [WorkStarted(key, SERVER)]
-    assert made.route_reply(key, FLAG_ACK, 500, 180, 10, SERVER, SETTLED + 4)
-    assert made.route_reply(key, FLAG_ACK, 510, 180, 10, SERVER, SETTLED + 4)
-    assert made.drain() == [WorkAnswered(key, SERVER)]
-
-
-def test_first_packet_passes_owner_and_backup_before_the_server() -> None:
-    names = ("a", "b", "c")
-    key = key_of(1)
-    engines = {name: engine(name) for name in names}
-    for made in engines.values():
-        made.handle(ViewChanged(vms(*names)), 0.0)
-    rank = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
-    first = segment(key, FLAG_SYN, seq=99)
-    ingress, owner, backup = engines[rank[2]], engines[rank[0]], engines[rank[1]]
-    (passed,) = ingress.handle(CallerPacket(first), SETTLED)
-    assert isinstance(passed, SendToPeer)
-    assert (passed.vm, passed.passing.stage) == (rank[0], Stage.TO_OWNER)
-    peer = PeerPacket(VmId(rank[2]), passed.passing, first)
-    assert kinds(owner.handle(peer, SETTLED)) == ["AskPlacement"]
-    actions = owner.handle(FlowPlaced(key, SERVER), SETTLED)
-    assert kinds(actions) == ["WorkStarted", "SendToPeer"]
-    store = actions[1]
-    assert isinstance(store, SendToPeer)
-    assert (store.vm, store.passing.stage) == (rank[1], Stage.STORE)
-    peer = PeerPacket(VmId(rank[0]), store.passing, first)
-    assert backup.handle(peer, SETTLED) == [SendToServer(SERVER, b"packet")]
+    assert flow_engine.handle(syn, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
+
+
+def test_refused_placement_only_resets_the_caller() -> None:
+    flow_engine = make_engine()
+    key = make_flow_key(1)
+    first_packet = make_segment(key, FLAG_SYN, seq=99)
+    flow_engine.handle(CallerPacket(first_packet), SETTLED_TIME)
+    actions = flow_engine.handle(FlowRefused(key, "busy"), SETTLED_TIME)
+    assert actions == [ResetCaller(first_packet, "busy")]
+
+
+def test_caller_reset_cancels_a_pending_placement() -> None:
+    flow_engine = make_engine()
+    key = make_flow_key(1)
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
+    reset = CallerPacket(make_segment(key, FLAG_RST, seq=100))
+    assert flow_engine.handle(reset, SETTLED_TIME) == [CancelPlacement(key)]
+    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME) == [
+        FlowClosed(key, SERVER)
+    ]
+
+
+def test_unanswered_caller_bytes_count_as_work() -> None:
+    flow_engine = make_engine()
+    key = make_flow_key(1)
+    open_flow(flow_engine, key)
+    assert flow_engine.handle(Tick(), SETTLED_TIME + 2) == [WorkAnswered(key, SERVER)]
+    assert (
+        flow_engine.route_caller(key, FLAG_ACK, 100, 500, 40, SETTLED_TIME + 3)
+        == SERVER
+    )
+    assert (
+        flow_engine.route_caller(key, FLAG_ACK, 140, 500, 40, SETTLED_TIME + 3)
+        == SERVER
+    )
+    assert flow_engine.drain() == [WorkStarted(key, SERVER)]
+    assert flow_engine.route_reply(
+        key, FLAG_ACK, 500, 180, 10, SERVER, SETTLED_TIME + 4
+    )
+    assert flow_engine.route_reply(
+        key, FLAG_ACK, 510, 180, 10, SERVER, SETTLED_TIME + 4
+    )
+    assert flow_engine.drain() == [WorkAnswered(key, SERVER)]
+
+
+def test_first_packet_reaches_owner_and_backup_before_the_server() -> None:
+    vm_names = ("a", "b", "c")
+    key = make_flow_key(1)
+    engines = {name: make_engine(name) for name in vm_names}
+    for flow_engine in engines.values():
+        flow_engine.handle(ViewChanged(make_vms(*vm_names)), 0.0)
+    ranked_vms = engines["a"].state.ranking.rank(key[0:1] + SERVICE)
+    first_packet = make_segment(key, FLAG_SYN, seq=99)
+    ingress, owner, backup = (
+        engines[ranked_vms[2]],
+        engines[ranked_vms[0]],
+        engines[ranked_vms[1]],
+    )
+    (forwarded,) = ingress.handle(CallerPacket(first_packet), SETTLED_TIME)
+    assert isinstance(forwarded, SendToPeer)
+    assert (forwarded.vm, forwarded.passing.stage) == (ranked_vms[0], Stage.TO_OWNER)
+    peer_packet = PeerPacket(VmId(ranked_vms[2]), forwarded.passing, first_packet)
+    assert action_names(owner.handle(peer_packet, SETTLED_TIME)) == ["AskPlacement"]
+    actions = owner.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
+    assert action_names(actions) == ["WorkStarted", "SendToPeer"]
+    store_action = actions[1]
+    assert isinstance(store_action, SendToPeer)
+    assert (store_action.vm, store_action.passing.stage) == (ranked_vms[1], Stage.STORE)
+    peer_packet = PeerPacket(VmId(ranked_vms[0]), store_action.passing, first_packet)
+    assert backup.handle(peer_packet, SETTLED_TIME) == [SendToServer(SERVER, b"packet")]
 
 
 @pytest.mark.parametrize(
-    ("announced", "reaches"),
+    ("announced", "is_forwarded"),
     [(ENTRIES, True), (None, True), (PAGESETTER, False)],
 )
-def test_open_flow_follows_what_its_server_announces(
-    announced: ServiceName | None, reaches: bool
+def test_open_flow_is_reset_if_its_server_announces_another_service(
+    announced: ServiceName | None, is_forwarded: bool
 ) -> None:
-    made = engine()
-    key = key_of(1)
-    open_flow(made, key)
+    flow_engine = make_engine()
+    key = make_flow_key(1)
+    open_flow(flow_engine, key)
     servers = () if announced is None else (ServerRoute(SERVER, announced),)
-    made.handle(routes(*servers, revision=2), SETTLED)
-    assert (made.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER) == reaches
-    late = segment(key, seq=105, ack=500, length=5)
-    actions = kinds(made.handle(CallerPacket(late), SETTLED))
-    assert ("SendToServer" in actions) == reaches
-    assert ("ResetCaller" in actions) != reaches
-
-
-def test_new_flow_is_not_bound_to_a_server_that_is_gone() -> None:
-    made = engine()
-    key = key_of(1)
-    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
-    made.handle(routes(ServerRoute(SECOND, ENTRIES), revision=2), SETTLED)
-    assert made.handle(FlowPlaced(key, SERVER), SETTLED) == [
+    flow_engine.handle(make_routes(*servers, revision=2), SETTLED_TIME)
+    assert (
+        flow_engine.route_caller(key, FLAG_ACK, 100, 500, 5, SETTLED_TIME) == SERVER
+    ) == is_forwarded
+    later_packet = make_segment(key, seq=105, ack=500, length=5)
+    actions = action_names(flow_engine.handle(CallerPacket(later_packet), SETTLED_TIME))
+    assert ("SendToServer" in actions) == is_forwarded
+    assert ("ResetCaller" in actions) != is_forwarded
+
+
+def test_new_flow_is_not_bound_to_a_removed_server() -> None:
+    flow_engine = make_engine()
+    key = make_flow_key(1)
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
+    flow_engine.handle(
+        make_routes(ServerRoute(OTHER_SERVER, ENTRIES), revision=2), SETTLED_TIME
+    )
+    assert flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME) == [
         FlowClosed(key, SERVER),
         RefreshRoute(Refusal.SERVER_GONE, ENTRIES, SERVER),
         AskPlacement(key, ENTRIES),
     ]
-    assert kinds(made.handle(FlowPlaced(key, SECOND), SETTLED)) == [
+    assert action_names(
+        flow_engine.handle(FlowPlaced(key, OTHER_SERVER), SETTLED_TIME)
+    ) == [
         "WorkStarted",
         "SendToServer",
     ]
 
 
-def test_reply_of_another_server_is_dropped() -> None:
-    made = engine()
-    key = key_of(1)
-    open_flow(made, key)
-    reply = segment(key, seq=500, ack=100, length=9)
-    crossed = made.handle(ServerPacket(reply, SECOND), SETTLED)
-    assert crossed == [Dropped(Refusal.CROSSED)]
-    assert made.handle(ServerPacket(reply, SERVER), SETTLED)[-1] == SendToCaller(
-        SERVICE, b"packet"
+def test_reply_from_another_server_is_dropped() -> None:
+    flow_engine = make_engine()
+    key = make_flow_key(1)
+    open_flow(flow_engine, key)
+    reply = make_segment(key, seq=500, ack=100, length=9)
+    crossed = flow_engine.handle(ServerPacket(reply, OTHER_SERVER), SETTLED_TIME)
+    assert crossed == [Dropped(Refusal.REPLY_CROSSED)]
+    assert flow_engine.handle(ServerPacket(reply, SERVER), SETTLED_TIME)[
+        -1
+    ] == SendToCaller(SERVICE, b"packet")
+
+
+def test_half_open_flow_continues_if_a_peer_confirms_its_server() -> None:
+    flow_engine = make_engine()
+    flow_engine.handle(ViewChanged(make_vms("a", "b")), 0.0)
+    key = next(
+        make_flow_key(port)
+        for port in range(9)
+        if owns_flow(flow_engine, make_flow_key(port))
     )
+    flow_engine.handle(CallerPacket(make_segment(key, FLAG_SYN, seq=99)), SETTLED_TIME)
+    flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
+    ack_of_unseen_reply = make_segment(key, seq=100, ack=500, length=20)
+    [lookup] = flow_engine.handle(CallerPacket(ack_of_unseen_reply), SETTLED_TIME)
+    assert lookup.passing.stage == Stage.LOOKUP
+    adopt_header = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
+    actions = flow_engine.handle(
+        PeerPacket(VmId("b"), adopt_header, ack_of_unseen_reply), SETTLED_TIME
+    )
+    [store_action] = [action for action in actions if isinstance(action, SendToPeer)]
+    assert store_action.passing.stage == Stage.STORE
 
 
-def test_a_half_open_flow_goes_on_when_a_peer_names_the_same_server() -> None:
-    made = engine()
-    made.handle(ViewChanged(vms("a", "b")), 0.0)
-    key = next(key_of(port) for port in range(9) if owns(made, key_of(port)))
-    made.handle(CallerPacket(segment(key, FLAG_SYN, seq=99)), SETTLED)
-    made.handle(FlowPlaced(key, SERVER), SETTLED)
-    unseen_answer = segment(key, seq=100, ack=500, length=20)
-    [search] = made.handle(CallerPacket(unseen_answer), SETTLED)
-    assert search.passing.stage == Stage.LOOKUP
-    adopt = Passing(Stage.ADOPT, 0, Binding(SERVER, 1, 1))
-    actions = made.handle(PeerPacket(VmId("b"), adopt, unseen_answer), SETTLED)
-    [store] = [action for action in actions if isinstance(action, SendToPeer)]
-    assert store.passing.stage == Stage.STORE
-
-
-def owns(made: FlowEngine, key: FlowKey) -> bool:
-    return made.state.ranking.owner(key) == made.vm
+def owns_flow(flow_engine: FlowEngine, key: FlowKey) -> bool:
+    return flow_engine.state.ranking.owner_of(key) == flow_engine.vm
