Rename _targets to _heartbeat_targets

The targets are those of a heartbeat round. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _targets _heartbeat_targets

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -291,7 +291,7 @@
         self.next_round = now + self.settings.heartbeat_seconds * spread
         quiet = self.round % self.settings.quiet_rounds
         self.round += 1
-        for peer in self._targets(now):
+        for peer in self._heartbeat_targets(now):
             silent = now - peer.heard_at > self.settings.remove_seconds
             if silent and quiet and not peer.live and self.suspended_until is None:
                 continue
@@ -376,7 +376,7 @@
         peer.since = now
         self._turned(peer, now)
 
-    def _targets(self, now: float) -> list[Peer]:
+    def _heartbeat_targets(self, now: float) -> list[Peer]:
         """Return the peers that get heartbeats in this round: here all of them."""
         return list(self.peers.values())
 
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -88,7 +88,7 @@
         self._speak_of_me(RumourKind.ALIVE)
         self._choose_neighbours(NEVER)
 
-    def _targets(self, now: float) -> list[Peer]:
+    def _heartbeat_targets(self, now: float) -> list[Peer]:
         self._choose_neighbours(now)
         near = [self.peers[vm] for vm in self._watched()]
         if self.suspended_until is None:
