Rename _watched to _monitored_peers

Names what is returned: the peers that this VM monitors itself. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _watched _monitored_peers

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -145,7 +145,7 @@
     def _on_tick(self, event: Tick, now: float) -> None:
         if now >= self.next_round:
             self._heartbeat_round(now)
-        for name in self._watched():
+        for name in self._monitored_peers():
             peer = self.peers[name]
             if peer.suspected(now, self.settings) and not peer.probe:
                 self._ask_probes(peer, now)
@@ -348,7 +348,7 @@
         if due:
             self.touched.update(self.peers)
         elif isinstance(event, Tick):
-            self.touched.update(self._watched())
+            self.touched.update(self._monitored_peers())
         for name in sorted(self.touched):
             peer = self.peers.get(name)
             if peer is not None:
@@ -359,7 +359,7 @@
             self.actions.append(changed)
 
     def _all_back(self, now: float) -> bool:
-        watched = set(self._watched()) & self.awaited
+        watched = set(self._monitored_peers()) & self.awaited
         peers = [self.peers[name] for name in watched]
         return all(peer.left or peer.usable(now, self.settings) for peer in peers)
 
@@ -369,7 +369,7 @@
             return
         if not usable:
             self.view.lose(peer)
-            if not peer.left and peer.vm.vm in self._watched():
+            if not peer.left and peer.vm.vm in self._monitored_peers():
                 peer.lose(now, self.settings)
         self.view.stale = True
         peer.live = usable
@@ -380,7 +380,7 @@
         """Return the peers that get heartbeats in this round: here all of them."""
         return list(self.peers.values())
 
-    def _watched(self) -> Collection[VmId]:
+    def _monitored_peers(self) -> Collection[VmId]:
         """Return the peers judged by our own contact: here all of them."""
         return self.peers.keys()
 
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -90,7 +90,7 @@
 
     def _heartbeat_targets(self, now: float) -> list[Peer]:
         self._choose_neighbours(now)
-        near = [self.peers[vm] for vm in self._watched()]
+        near = [self.peers[vm] for vm in self._monitored_peers()]
         if self.suspended_until is None:
             for peer in near:
                 self._watch(peer, now)
@@ -111,7 +111,7 @@
             self._ask_probes(peer, now)
         self._doubt(peer, now)
 
-    def _watched(self) -> Collection[VmId]:
+    def _monitored_peers(self) -> Collection[VmId]:
         return sorted(self.neighbours & self.peers.keys())
 
     def _belongs(self, peer: Peer, now: float) -> bool:
