Rename _belongs to _belongs_in_view

Says where the peer belongs. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _belongs _belongs_in_view

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -364,7 +364,7 @@
         return all(peer.left or peer.usable(now, self.settings) for peer in peers)
 
     def _review_peer(self, peer: Peer, now: float) -> None:
-        usable = self._belongs(peer, now)
+        usable = self._belongs_in_view(peer, now)
         if usable == peer.live:
             return
         if not usable:
@@ -384,7 +384,7 @@
         """Return the peers judged by our own contact: here all of them."""
         return self.peers.keys()
 
-    def _belongs(self, peer: Peer, now: float) -> bool:
+    def _belongs_in_view(self, peer: Peer, now: float) -> bool:
         """Whether a peer belongs in the view: here by our own contact alone."""
         return peer.usable(now, self.settings)
 
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -114,7 +114,7 @@
     def _monitored_peers(self) -> Collection[VmId]:
         return sorted(self.neighbours & self.peers.keys())
 
-    def _belongs(self, peer: Peer, now: float) -> bool:
+    def _belongs_in_view(self, peer: Peer, now: float) -> bool:
         if peer.vm.vm in self.neighbours:
             return peer.usable(now, self.settings)
         return not peer.left and self.rumours.says_alive(peer.vm.vm)
