Rename _refuses to _excludes

A peer is excluded from the view, not refused a call. Every use in the folder follows, overrides included; behaviour is unchanged.

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -311,7 +311,7 @@
             leases=self.leases,
             leaving=self.leaving,
             echoed=peer.vm.incarnation,
-            refused=self._refuses(peer, now),
+            refused=self._excludes(peer, now),
             rumours=self._gossip(peer),
             members=self._members_digest(),
         )
@@ -388,7 +388,7 @@
         """Whether a peer belongs in the view: here by our own contact alone."""
         return peer.usable(now, self.settings)
 
-    def _refuses(self, peer: Peer, now: float) -> bool:
+    def _excludes(self, peer: Peer, now: float) -> bool:
         """Whether we do not use a peer; a suspended view refuses nobody in it."""
         if self.suspended_until is not None and peer.live:
             return False
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -174,9 +174,9 @@
             decisions.log("rumour-refuted", refutations=self.refutations)
             self._speak_of_me(RumourKind.ALIVE)
 
-    def _refuses(self, peer: Peer, now: float) -> bool:
+    def _excludes(self, peer: Peer, now: float) -> bool:
         judged = peer.vm.vm in self.neighbours and peer.contact != NEVER
-        return judged and super()._refuses(peer, now)
+        return judged and super()._excludes(peer, now)
 
     def _turned(self, peer: Peer, now: float) -> None:
         if peer.vm.vm in self.neighbours:
