Rename _turned to _on_peer_view_change

Hook for a peer that entered or left the view. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _turned _on_peer_view_change

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -374,7 +374,7 @@
         self.view.stale = True
         peer.live = usable
         peer.since = now
-        self._turned(peer, now)
+        self._on_peer_view_change(peer, now)
 
     def _heartbeat_targets(self, now: float) -> list[Peer]:
         """Return the peers that get heartbeats in this round: here all of them."""
@@ -394,7 +394,7 @@
             return False
         return not peer.reached(now, self.settings)
 
-    def _turned(self, peer: Peer, now: float) -> None:
+    def _on_peer_view_change(self, peer: Peer, now: float) -> None:
         """Act on a peer that entered or left the view."""
         self._send_heartbeat(peer, now)
 
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -178,7 +178,7 @@
         judged = peer.vm.vm in self.neighbours and peer.contact != NEVER
         return judged and super()._excludes(peer, now)
 
-    def _turned(self, peer: Peer, now: float) -> None:
+    def _on_peer_view_change(self, peer: Peer, now: float) -> None:
         if peer.vm.vm in self.neighbours:
             self._send_heartbeat(peer, now)
             self._doubt(peer, now)
