Rename _gossip to _updates_for

Returns the gossiped updates for one peer. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _gossip _updates_for

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -312,7 +312,7 @@
             leaving=self.leaving,
             echoed=peer.vm.incarnation,
             refused=self._excludes(peer, now),
-            rumours=self._gossip(peer),
+            rumours=self._updates_for(peer),
             members=self._members_digest(),
         )
         peer.sent = now
@@ -398,7 +398,7 @@
         """Act on a peer that entered or left the view."""
         self._send_heartbeat(peer, now)
 
-    def _gossip(self, peer: Peer) -> tuple[Rumour, ...]:
+    def _updates_for(self, peer: Peer) -> tuple[Rumour, ...]:
         """Return what a heartbeat passes on about third VMs: here nothing."""
         return ()
 
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -119,7 +119,7 @@
             return peer.usable(now, self.settings)
         return not peer.left and self.rumours.says_alive(peer.vm.vm)
 
-    def _gossip(self, peer: Peer) -> tuple[Rumour, ...]:
+    def _updates_for(self, peer: Peer) -> tuple[Rumour, ...]:
         spread = self.rumours.spread()
         about = self.rumours.latest.get(peer.vm.vm)
         if about is None or about.kind == RumourKind.ALIVE or about in spread:
