Rename _members_digest to _gossip_digest

The digest is of the gossip state. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _members_digest _gossip_digest

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -313,7 +313,7 @@
             echoed=peer.vm.incarnation,
             refused=self._excludes(peer, now),
             rumours=self._updates_for(peer),
-            members=self._members_digest(),
+            members=self._gossip_digest(),
         )
         peer.sent = now
         self._send(peer.vm.vm, message)
@@ -402,7 +402,7 @@
         """Return what a heartbeat passes on about third VMs: here nothing."""
         return ()
 
-    def _members_digest(self) -> int:
+    def _gossip_digest(self) -> int:
         """Return the digest of all rumours known, 0 where there are none."""
         return 0
 
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -126,7 +126,7 @@
             return spread
         return (*spread, about._replace(about=None))
 
-    def _members_digest(self) -> int:
+    def _gossip_digest(self) -> int:
         return self.rumours.digest()
 
     def _hear_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
