Rename _hear_gossip to _process_gossip

Processes the gossip of a heartbeat. Every use in the folder follows, overrides included; behaviour is unchanged.

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -194,7 +194,7 @@
             self._note_leave(peer, now)
         if message.revision > self.revision:
             self.actions.append(PeerAhead(peer.vm.vm, message.revision))
-        self._hear_gossip(peer, message, now)
+        self._process_gossip(peer, message, now)
 
     @_receive.register
     def _receive_hello(self, message: Hello, now: float) -> None:
@@ -406,7 +406,7 @@
         """Return the digest of all rumours known, 0 where there are none."""
         return 0
 
-    def _hear_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
+    def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
         """Take what a heartbeat says about third VMs."""
 
     def _hear_members(self, message: Members, now: float) -> None:
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -129,7 +129,7 @@
     def _gossip_digest(self) -> int:
         return self.rumours.digest()
 
-    def _hear_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
+    def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
         for rumour in message.rumours:
             self._hear(rumour, now)
         watched_only_there = peer.vm.vm not in self.neighbours
