Rename _hear_members to _process_members

Processes a Members message. Every use in the folder follows, overrides included; behaviour is unchanged.

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -213,7 +213,7 @@
 
     @_receive.register
     def _receive_members(self, message: Members, now: float) -> None:
-        self._hear_members(message, now)
+        self._process_members(message, now)
 
     @_receive.register
     def _receive_superseded(self, message: Superseded, now: float) -> None:
@@ -409,7 +409,7 @@
     def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
         """Take what a heartbeat says about third VMs."""
 
-    def _hear_members(self, message: Members, now: float) -> None:
+    def _process_members(self, message: Members, now: float) -> None:
         """Take all that a peer knows about third VMs."""
 
     def _said_leave(self, now: float) -> None:
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -142,7 +142,7 @@
             everything = tuple(self.rumours.latest.values())
             self._send(peer.vm.vm, Members(self.me.vm, everything))
 
-    def _hear_members(self, message: Members, now: float) -> None:
+    def _process_members(self, message: Members, now: float) -> None:
         for rumour in message.rumours:
             self._hear(rumour, now)
         if not message.answer:
