Rename _said_leave to _on_shutdown

Hook for the start of a graceful shutdown. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _said_leave _on_shutdown

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -155,7 +155,7 @@
     def _on_leave(self, event: Leave, now: float) -> None:
         self.leaving = True
         decisions.log("vm-leaving", vm=self.me.vm)
-        self._said_leave(now)
+        self._on_shutdown(now)
         self._heartbeat_round(now)
 
     @_on.register
@@ -412,7 +412,7 @@
     def _process_members(self, message: Members, now: float) -> None:
         """Take all that a peer knows about third VMs."""
 
-    def _said_leave(self, now: float) -> None:
+    def _on_shutdown(self, now: float) -> None:
         """Act on our own graceful shutdown."""
 
     def _raised(self) -> None:
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -204,7 +204,7 @@
         if self.rumours.take(rumour):
             self._soon(now)
 
-    def _said_leave(self, now: float) -> None:
+    def _on_shutdown(self, now: float) -> None:
         self._speak_of_me(RumourKind.LEFT)
 
     def _raised(self) -> None:
