Rename _raised to _on_own_incarnation_raised

Hook for a raised incarnation of this VM. Every use in the folder follows, overrides included; behaviour is unchanged.

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -223,7 +223,7 @@
         self.me = self.me._replace(incarnation=message.incarnation + step)
         decisions.log("incarnation-raised", incarnation=self.me.incarnation)
         self.actions.append(IncarnationRaised(self.me.incarnation))
-        self._raised()
+        self._on_own_incarnation_raised()
         self._heartbeat_round(now)
 
     @_receive.register
@@ -415,7 +415,7 @@
     def _on_shutdown(self, now: float) -> None:
         """Act on our own graceful shutdown."""
 
-    def _raised(self) -> None:
+    def _on_own_incarnation_raised(self) -> None:
         """Act on our own incarnation having been raised."""
 
     def _send(self, vm: VmId, message: Message) -> None:
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -207,7 +207,7 @@
     def _on_shutdown(self, now: float) -> None:
         self._speak_of_me(RumourKind.LEFT)
 
-    def _raised(self) -> None:
+    def _on_own_incarnation_raised(self) -> None:
         self.refutations = 0
         self._speak_of_me(RumourKind.ALIVE)
 
