Rename _hear to _process_update

Processes one gossiped update. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/sampled.py _hear _process_update

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -131,7 +131,7 @@
 
     def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
         for rumour in message.rumours:
-            self._hear(rumour, now)
+            self._process_update(rumour, now)
         watched_only_there = peer.vm.vm not in self.neighbours
         if watched_only_there and now - message.echo >= REPLY_AGE_SECONDS:
             self._send_heartbeat(peer, now)
@@ -144,12 +144,12 @@
 
     def _process_members(self, message: Members, now: float) -> None:
         for rumour in message.rumours:
-            self._hear(rumour, now)
+            self._process_update(rumour, now)
         if not message.answer:
             everything = tuple(self.rumours.latest.values())
             self._send(message.sender, Members(self.me.vm, everything, True))
 
-    def _hear(self, rumour: Rumour, now: float) -> None:
+    def _process_update(self, rumour: Rumour, now: float) -> None:
         if rumour.vm == self.me.vm:
             self._refute(rumour)
             return
