Rename _watch to _check_neighbour

Checks one neighbour. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/sampled.py _watch _check_neighbour

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -93,7 +93,7 @@
         near = [self.peers[vm] for vm in self._monitored_peers()]
         if self.suspended_until is None:
             for peer in near:
-                self._watch(peer, now)
+                self._check_neighbour(peer, now)
         away = [
             peer
             for peer in self.peers.values()
@@ -103,7 +103,7 @@
             near.append(self.random.choice(away))
         return near
 
-    def _watch(self, peer: Peer, now: float) -> None:
+    def _check_neighbour(self, peer: Peer, now: float) -> None:
         """Have a silent neighbour probed until it is back or rumoured lost."""
         if peer.live or peer.left:
             return
