Rename _doubt to _gossip_loss

Spreads the loss of a peer by gossip. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/sampled.py _doubt _gossip_loss

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -109,7 +109,7 @@
             return
         if now - peer.probe_at > self.settings.suspect_seconds:
             self._ask_probes(peer, now)
-        self._doubt(peer, now)
+        self._gossip_loss(peer, now)
 
     def _monitored_peers(self) -> Collection[VmId]:
         return sorted(self.neighbours & self.peers.keys())
@@ -181,9 +181,9 @@
     def _on_peer_view_change(self, peer: Peer, now: float) -> None:
         if peer.vm.vm in self.neighbours:
             self._send_heartbeat(peer, now)
-            self._doubt(peer, now)
+            self._gossip_loss(peer, now)
 
-    def _doubt(self, peer: Peer, now: float) -> None:
+    def _gossip_loss(self, peer: Peer, now: float) -> None:
         """Spread the loss of a silent neighbour unless others reach it."""
         if peer.live or peer.refused or self.leaving:
             return
