Rename _speak_of_me to _gossip_own_status

Spreads the VM's own status by gossip. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/sampled.py _speak_of_me _gossip_own_status

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -85,7 +85,7 @@
         self.ring_key: frozenset[VmId] | None = None
         self.next_sync = NEVER
         self.differs_since = NEVER
-        self._speak_of_me(RumourKind.ALIVE)
+        self._gossip_own_status(RumourKind.ALIVE)
         self._choose_neighbours(NEVER)
 
     def _heartbeat_targets(self, now: float) -> list[Peer]:
@@ -172,7 +172,7 @@
         if rumour.incarnation == self.me.incarnation:
             self.refutations = max(self.refutations, rumour.refutations + 1)
             decisions.log("rumour-refuted", refutations=self.refutations)
-            self._speak_of_me(RumourKind.ALIVE)
+            self._gossip_own_status(RumourKind.ALIVE)
 
     def _excludes(self, peer: Peer, now: float) -> bool:
         judged = peer.vm.vm in self.neighbours and peer.contact != NEVER
@@ -205,13 +205,13 @@
             self._soon(now)
 
     def _on_shutdown(self, now: float) -> None:
-        self._speak_of_me(RumourKind.LEFT)
+        self._gossip_own_status(RumourKind.LEFT)
 
     def _on_own_incarnation_raised(self) -> None:
         self.refutations = 0
-        self._speak_of_me(RumourKind.ALIVE)
+        self._gossip_own_status(RumourKind.ALIVE)
 
-    def _speak_of_me(self, kind: RumourKind) -> None:
+    def _gossip_own_status(self, kind: RumourKind) -> None:
         about = self.me._replace(incarnation=0)
         me = self.me
         self.rumours.take(Rumour(me.vm, me.incarnation, kind, self.refutations, about))
