Rename _soon to _expedite_next_round

Brings the next heartbeat round forward. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/sampled.py _soon _expedite_next_round

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -155,7 +155,7 @@
             return
         if not self.rumours.take(rumour):
             return
-        self._soon(now)
+        self._expedite_next_round(now)
         self.touched.add(rumour.vm)
         peer = self.peers.get(rumour.vm)
         if peer is None and rumour.about is not None:
@@ -202,7 +202,7 @@
             refutations=before.refutations if before else 0,
         )
         if self.rumours.take(rumour):
-            self._soon(now)
+            self._expedite_next_round(now)
 
     def _on_shutdown(self, now: float) -> None:
         self._gossip_own_status(RumourKind.LEFT)
@@ -216,7 +216,7 @@
         me = self.me
         self.rumours.take(Rumour(me.vm, me.incarnation, kind, self.refutations, about))
 
-    def _soon(self, now: float) -> None:
+    def _expedite_next_round(self, now: float) -> None:
         """Pass news on before the next round is due."""
         self.next_round = min(self.next_round, now + EAGER_SECONDS)
 
