Rename _choose_neighbours to _update_neighbours

Recomputes the set of neighbours. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/sampled.py _choose_neighbours _update_neighbours

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -86,10 +86,10 @@
         self.next_sync = NEVER
         self.differs_since = NEVER
         self._gossip_own_status(RumourKind.ALIVE)
-        self._choose_neighbours(NEVER)
+        self._update_neighbours(NEVER)
 
     def _heartbeat_targets(self, now: float) -> list[Peer]:
-        self._choose_neighbours(now)
+        self._update_neighbours(now)
         near = [self.peers[vm] for vm in self._monitored_peers()]
         if self.suspended_until is None:
             for peer in near:
@@ -220,7 +220,7 @@
         """Pass news on before the next round is due."""
         self.next_round = min(self.next_round, now + EAGER_SECONDS)
 
-    def _choose_neighbours(self, now: float) -> None:
+    def _update_neighbours(self, now: float) -> None:
         believed = [
             peer.vm
             for peer in self.peers.values()
