--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -151,7 +151,7 @@
 
     def _process_update(self, rumour: Rumour, now: float) -> None:
         if rumour.vm == self.me.vm:
-            self._refute(rumour)
+            self._refute_loss(rumour)
             return
         if not self.rumours.take(rumour):
             return
@@ -166,7 +166,7 @@
         if rumour.kind == RumourKind.LEFT:
             self._note_leave(peer, now)
 
-    def _refute(self, rumour: Rumour) -> None:
+    def _refute_loss(self, rumour: Rumour) -> None:
         if rumour.kind == RumourKind.ALIVE or self.leaving:
             return
         if rumour.incarnation == self.me.incarnation:
