Rename _beside to _ring_successor_and_predecessor

Names what is returned, in the terms of a hash ring. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/sampled.py _beside _ring_successor_and_predecessor

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -47,11 +47,13 @@
     chosen: set[VmId] = set()
     for number in range(rings):
         members = zone if number % 2 == 0 and rings > 1 else everyone
-        chosen |= _beside(me, members, b"ring-%d" % number)
+        chosen |= _ring_successor_and_predecessor(me, members, b"ring-%d" % number)
     return chosen - {me.vm}
 
 
-def _beside(me: Vm, members: list[Vm], ring: bytes) -> set[VmId]:
+def _ring_successor_and_predecessor(
+    me: Vm, members: list[Vm], ring: bytes
+) -> set[VmId]:
     here = (weight(ring, me.vm), me.vm)
     places = [(weight(ring, vm.vm), vm.vm) for vm in members if vm.vm != me.vm]
     if not places:
