Rename _watch_gap to _detect_pause

Detects that the process was paused or the clock jumped. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _watch_gap _detect_pause

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -107,7 +107,7 @@
             What the caller does, in this order.
         """
         self.actions = []
-        self._watch_gap(now)
+        self._detect_pause(now)
         self._on(event, now)
         if now >= self.next_housekeeping:
             self.next_housekeeping = now + HOUSEKEEPING_SECONDS
@@ -118,7 +118,7 @@
         self._review(event, now)
         return self.actions
 
-    def _watch_gap(self, now: float) -> None:
+    def _detect_pause(self, now: float) -> None:
         gap = now - self.latest_now
         self.latest_now = now
         if gap <= self.settings.pause_seconds:
