Rename _note_incarnation to _update_incarnation

Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _note_incarnation _update_incarnation

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -239,7 +239,7 @@
         peer = self.peers.get(message.target)
         if peer is None or message.incarnation < peer.vm.incarnation:
             return
-        self._note_incarnation(peer, message.incarnation)
+        self._update_incarnation(peer, message.incarnation)
         if peer.probe != message.number:
             return
         keep = self.settings.remove_seconds + self.settings.probe_grace_seconds
@@ -254,10 +254,10 @@
         if incarnation < peer.vm.incarnation:
             self._send(sender, Superseded(self.me.vm, peer.vm.incarnation))
             return None
-        self._note_incarnation(peer, incarnation)
+        self._update_incarnation(peer, incarnation)
         return peer
 
-    def _note_incarnation(self, peer: Peer, incarnation: int) -> None:
+    def _update_incarnation(self, peer: Peer, incarnation: int) -> None:
         """Drop what is known of an earlier process of a VM."""
         if incarnation <= peer.vm.incarnation:
             return
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -164,7 +164,7 @@
             peer = self._learn(rumour.about, now)
         if peer is None:
             return
-        self._note_incarnation(peer, rumour.incarnation)
+        self._update_incarnation(peer, rumour.incarnation)
         if rumour.kind == RumourKind.LEFT:
             self._note_leave(peer, now)
 
