Rename _note_leave to _mark_left

Usual verb for setting a flag. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _note_leave _mark_left

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -191,7 +191,7 @@
             self._send_heartbeat(peer, now)
         peer.refused = message.refused and not self.leaving
         if message.leaving:
-            self._note_leave(peer, now)
+            self._mark_left(peer, now)
         if message.revision > self.revision:
             self.actions.append(PeerAhead(peer.vm.vm, message.revision))
         self._process_gossip(peer, message, now)
@@ -268,7 +268,7 @@
         self.touched.add(peer.vm.vm)
         peer.renew_incarnation(incarnation)
 
-    def _note_leave(self, peer: Peer, now: float) -> None:
+    def _mark_left(self, peer: Peer, now: float) -> None:
         if peer.left:
             return
         peer.left = True
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -166,7 +166,7 @@
             return
         self._update_incarnation(peer, rumour.incarnation)
         if rumour.kind == RumourKind.LEFT:
-            self._note_leave(peer, now)
+            self._mark_left(peer, now)
 
     def _refute_loss(self, rumour: Rumour) -> None:
         if rumour.kind == RumourKind.ALIVE or self.leaving:
