--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -200,13 +200,13 @@
     def _receive_hello(self, message: Hello, now: float) -> None:
         if message.vm.vm == self.me.vm:
             return
-        peer = self._learn(message.vm, now)
+        peer = self._add_peer(message.vm, now)
         if self._speaker(message.vm.vm, message.vm.incarnation) is None:
             return
         peer.vm = message.vm
         for vm in message.known:
             if vm.vm != self.me.vm:
-                self._learn(vm, now)
+                self._add_peer(vm, now)
         if not message.answer:
             self._send_heartbeat(peer, now)
             self._send(peer.vm.vm, self._hello(answer=True))
@@ -276,7 +276,7 @@
         self.touched.add(peer.vm.vm)
         decisions.log("peer-leaving", vm=peer.vm.vm)
 
-    def _learn(self, vm: Vm, now: float) -> Peer:
+    def _add_peer(self, vm: Vm, now: float) -> Peer:
         if self.roster.learn(vm, now):
             self.next_housekeeping = now
             self._welcome(vm)
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -161,7 +161,7 @@
         self.touched.add(rumour.vm)
         peer = self.peers.get(rumour.vm)
         if peer is None and rumour.about is not None:
-            peer = self._learn(rumour.about, now)
+            peer = self._add_peer(rumour.about, now)
         if peer is None:
             return
         self._update_incarnation(peer, rumour.incarnation)
