Rename _welcome to _report_new_peer

Reports the peer to the caller. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _welcome _report_new_peer

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -163,7 +163,7 @@
         self.view.stale = True
         self.next_housekeeping = now
         for vm in self.roster.replace(event.peers, now):
-            self._welcome(vm)
+            self._report_new_peer(vm)
 
     @_on.register
     def _on_received(self, event: Received, now: float) -> None:
@@ -279,10 +279,10 @@
     def _add_peer(self, vm: Vm, now: float) -> Peer:
         if self.roster.learn(vm, now):
             self.next_housekeeping = now
-            self._welcome(vm)
+            self._report_new_peer(vm)
         return self.peers[vm.vm]
 
-    def _welcome(self, vm: Vm) -> None:
+    def _report_new_peer(self, vm: Vm) -> None:
         self.touched.add(vm.vm)
         self.actions.append(PeerLearned(vm))
 
