Rename _ask_probes to _request_probes

Sends probe requests. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _ask_probes _request_probes

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -148,7 +148,7 @@
         for name in self._monitored_peers():
             peer = self.peers[name]
             if peer.suspected(now, self.settings) and not peer.probe:
-                self._ask_probes(peer, now)
+                self._request_probes(peer, now)
         self.probes.forget(now)
 
     @_on.register
@@ -322,7 +322,7 @@
         known = [peer.vm for peer in self.peers.values() if not peer.left]
         return Hello(self.me, tuple(known[:MAX_KNOWN_IN_HELLO]), answer)
 
-    def _ask_probes(self, target: Peer, now: float) -> None:
+    def _request_probes(self, target: Peer, now: float) -> None:
         helpers = [
             peer.vm.vm
             for peer in self.peers.values()
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -110,7 +110,7 @@
         if peer.live or peer.left:
             return
         if now - peer.probe_at > self.settings.suspect_seconds:
-            self._ask_probes(peer, now)
+            self._request_probes(peer, now)
         self._gossip_loss(peer, now)
 
     def _monitored_peers(self) -> Collection[VmId]:
