Rename _hello to _make_hello

Builds a message. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _hello _make_hello

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -209,7 +209,7 @@
                 self._add_peer(vm, now)
         if not message.answer:
             self._send_heartbeat(peer, now)
-            self._send(peer.vm.vm, self._hello(answer=True))
+            self._send(peer.vm.vm, self._make_hello(answer=True))
 
     @_receive.register
     def _receive_members(self, message: Members, now: float) -> None:
@@ -297,7 +297,7 @@
                 continue
             self._send_heartbeat(peer, now)
             if not peer.introduced:
-                self._send(peer.vm.vm, self._hello(answer=False))
+                self._send(peer.vm.vm, self._make_hello(answer=False))
 
     def _send_heartbeat(self, peer: Peer, now: float) -> None:
         self.latest_stamp = max(now, self.latest_stamp + STAMP_STEP_SECONDS)
@@ -318,7 +318,7 @@
         peer.sent = now
         self._send(peer.vm.vm, message)
 
-    def _hello(self, *, answer: bool) -> Hello:
+    def _make_hello(self, *, answer: bool) -> Hello:
         known = [peer.vm for peer in self.peers.values() if not peer.left]
         return Hello(self.me, tuple(known[:MAX_KNOWN_IN_HELLO]), answer)
 
