Rename _review to _update_view

Updates the view. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _review _update_view

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -115,7 +115,7 @@
             news = self.roster.news(now, self.settings)
             if news is not None:
                 self.actions.append(news)
-        self._review(event, now)
+        self._update_view(event, now)
         return self.actions
 
     def _detect_pause(self, now: float) -> None:
@@ -337,7 +337,7 @@
             self._send(helper, request)
         decisions.log("peer-suspected", vm=target.vm.vm, helpers=count)
 
-    def _review(self, event: Event, now: float) -> None:
+    def _update_view(self, event: Event, now: float) -> None:
         """Work out the view again where time or this event may have changed it."""
         due = self.suspended_until is not None
         if self.suspended_until is not None:
