Rename _review_peer to _update_peer

Updates one peer of the view. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _review_peer _update_peer

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -352,7 +352,7 @@
         for name in sorted(self.touched):
             peer = self.peers.get(name)
             if peer is not None:
-                self._review_peer(peer, now)
+                self._update_peer(peer, now)
         self.touched = set()
         changed = self.view.renew(self.me, self.peers.values(), due=due)
         if changed is not None:
@@ -363,7 +363,7 @@
         peers = [self.peers[name] for name in watched]
         return all(peer.left or peer.usable(now, self.settings) for peer in peers)
 
-    def _review_peer(self, peer: Peer, now: float) -> None:
+    def _update_peer(self, peer: Peer, now: float) -> None:
         usable = self._belongs_in_view(peer, now)
         if usable == peer.live:
             return
