Rename _all_back to _awaited_peers_ready

Says which peers are checked. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _all_back _awaited_peers_ready

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -341,7 +341,7 @@
         """Work out the view again where time or this event may have changed it."""
         due = self.suspended_until is not None
         if self.suspended_until is not None:
-            if now < self.suspended_until and not self._all_back(now):
+            if now < self.suspended_until and not self._awaited_peers_ready(now):
                 return
             self.suspended_until = None
             self.awaited = set()
@@ -358,7 +358,7 @@
         if changed is not None:
             self.actions.append(changed)
 
-    def _all_back(self, now: float) -> bool:
+    def _awaited_peers_ready(self, now: float) -> bool:
         watched = set(self._monitored_peers()) & self.awaited
         peers = [self.peers[name] for name in watched]
         return all(peer.left or peer.usable(now, self.settings) for peer in peers)
