Rename _on to _handle_event

Dispatches an event by its type. Every use in the folder follows, overrides included; behaviour is unchanged.

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -102,7 +102,7 @@
         if self.started is None:
             self.started = now
         self._expire(now)
-        self._on(event, now)
+        self._handle_event(event, now)
         changed = self.freshness.review(self.holder, self.told, self.known, now)
         if changed is not None:
             self.actions.append(changed)
@@ -116,10 +116,10 @@
         self.sharing.push(base, now)
 
     @singledispatchmethod
-    def _on(self, event: Any, now: float) -> None:
+    def _handle_event(self, event: Any, now: float) -> None:
         """Events of membership are none of ours."""
 
-    @_on.register
+    @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
         for vm in self.notices.due(now):
             self.sharing.send_table(vm, self.notices.base(vm), ack=True)
@@ -135,20 +135,20 @@
         if self.known.prune(before):
             self.freshness.dirty = True
 
-    @_on.register
+    @_handle_event.register
     def _on_peers(self, event: PeersChanged, now: float) -> None:
         self.peers = {vm.vm: vm for vm in event.peers}
 
-    @_on.register
+    @_handle_event.register
     def _on_incarnation(self, event: IncarnationRaised, now: float) -> None:
         self.me = self.me._replace(incarnation=event.incarnation)
         self.sharing.me = self.me
 
-    @_on.register
+    @_handle_event.register
     def _on_leave(self, event: Leave, now: float) -> None:
         self.leaving = True
 
-    @_on.register
+    @_handle_event.register
     def _on_announce(self, event: Announce, now: float) -> None:
         known = self.known.get(event.lease.server)
         match check_announce(event, known, self._desk(now), self.settings, now):
@@ -177,15 +177,15 @@
             phase = max(phase, phase_of(known.lease.version))
         return at_phase(lease, phase)
 
-    @_on.register
+    @_handle_event.register
     def _on_drain(self, event: Drain, now: float) -> None:
         self._retire(event, Phase.DRAINING, now)
 
-    @_on.register
+    @_handle_event.register
     def _on_depart(self, event: Depart, now: float) -> None:
         self._retire(event, Phase.LEFT, now)
 
-    @_on.register
+    @_handle_event.register
     def _on_received(self, event: Received, now: float) -> None:
         self._receive(event.message, now)
 
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -108,7 +108,7 @@
         """
         self.actions = []
         self._detect_pause(now)
-        self._on(event, now)
+        self._handle_event(event, now)
         if now >= self.next_housekeeping:
             self.next_housekeeping = now + HOUSEKEEPING_SECONDS
             self.roster.forget(now, self.settings)
@@ -138,10 +138,10 @@
         self.actions.append(ViewSuspended(gap))
 
     @singledispatchmethod
-    def _on(self, event: Any, now: float) -> None:
+    def _handle_event(self, event: Any, now: float) -> None:
         """Events of leases are none of ours."""
 
-    @_on.register
+    @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
         if now >= self.next_round:
             self._heartbeat_round(now)
@@ -151,21 +151,21 @@
                 self._request_probes(peer, now)
         self.probes.forget(now)
 
-    @_on.register
+    @_handle_event.register
     def _on_leave(self, event: Leave, now: float) -> None:
         self.leaving = True
         decisions.log("vm-leaving", vm=self.me.vm)
         self._on_shutdown(now)
         self._heartbeat_round(now)
 
-    @_on.register
+    @_handle_event.register
     def _on_peers(self, event: PeersChanged, now: float) -> None:
         self.view.stale = True
         self.next_housekeeping = now
         for vm in self.roster.replace(event.peers, now):
             self._report_new_peer(vm)
 
-    @_on.register
+    @_handle_event.register
     def _on_received(self, event: Received, now: float) -> None:
         self._receive(event.message, now)
 
