Rename _receive to _handle_message

Dispatches a message by its type. Every use in the folder follows, overrides included; behaviour is unchanged.

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -187,13 +187,13 @@
 
     @_handle_event.register
     def _on_received(self, event: Received, now: float) -> None:
-        self._receive(event.message, now)
+        self._handle_message(event.message, now)
 
     @singledispatchmethod
-    def _receive(self, message: Any, now: float) -> None:
+    def _handle_message(self, message: Any, now: float) -> None:
         """Messages of membership are none of ours."""
 
-    @_receive.register
+    @_handle_message.register
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
         table = self._met(message.sender, message.incarnation)
         if table is None:
@@ -204,7 +204,7 @@
         if behind and now - table.asked >= self.settings.resend_seconds:
             self.sharing.ask(table, now)
 
-    @_receive.register
+    @_handle_message.register
     def _receive_update(self, message: LeaseUpdate, now: float) -> None:
         table = self._met(message.sender, message.incarnation)
         if table is None:
@@ -221,13 +221,13 @@
             ack = LeaseAck(self.me.vm, table.incarnation, table.version)
             self.sharing.send(message.sender, ack)
 
-    @_receive.register
+    @_handle_message.register
     def _receive_request(self, message: LeaseRequest, now: float) -> None:
         mine = message.incarnation == self.me.incarnation
         since = message.since if mine else 0
         self.sharing.send_table(message.sender, since, ack=False)
 
-    @_receive.register
+    @_handle_message.register
     def _receive_ack(self, message: LeaseAck, now: float) -> None:
         if message.incarnation == self.me.incarnation:
             self.notices.acknowledge(message.sender, message.version)
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -167,13 +167,13 @@
 
     @_handle_event.register
     def _on_received(self, event: Received, now: float) -> None:
-        self._receive(event.message, now)
+        self._handle_message(event.message, now)
 
     @singledispatchmethod
-    def _receive(self, message: Any, now: float) -> None:
+    def _handle_message(self, message: Any, now: float) -> None:
         """Messages about leases are none of ours."""
 
-    @_receive.register
+    @_handle_message.register
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
         peer = self._speaker(message.sender, message.incarnation)
         if peer is None or message.stamp <= peer.heard:
@@ -196,7 +196,7 @@
             self.actions.append(PeerAhead(peer.vm.vm, message.revision))
         self._process_gossip(peer, message, now)
 
-    @_receive.register
+    @_handle_message.register
     def _receive_hello(self, message: Hello, now: float) -> None:
         if message.vm.vm == self.me.vm:
             return
@@ -211,11 +211,11 @@
             self._send_heartbeat(peer, now)
             self._send(peer.vm.vm, self._make_hello(answer=True))
 
-    @_receive.register
+    @_handle_message.register
     def _receive_members(self, message: Members, now: float) -> None:
         self._process_members(message, now)
 
-    @_receive.register
+    @_handle_message.register
     def _receive_superseded(self, message: Superseded, now: float) -> None:
         if message.incarnation <= self.me.incarnation:
             return
@@ -226,7 +226,7 @@
         self._on_own_incarnation_raised()
         self._heartbeat_round(now)
 
-    @_receive.register
+    @_handle_message.register
     def _receive_probe_request(self, message: ProbeRequest, now: float) -> None:
         target = self.peers.get(message.target)
         if target is None:
@@ -234,7 +234,7 @@
         self._send_heartbeat(target, now)
         self.probes.begin(message, self.latest_stamp)
 
-    @_receive.register
+    @_handle_message.register
     def _receive_probe_answer(self, message: ProbeAnswer, now: float) -> None:
         peer = self.peers.get(message.target)
         if peer is None or message.incarnation < peer.vm.incarnation:
