Rename _on_peers to _on_peers_changed

Named after the event. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _on_peers _on_peers_changed

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -136,7 +136,7 @@
             self.freshness.dirty = True
 
     @_handle_event.register
-    def _on_peers(self, event: PeersChanged, now: float) -> None:
+    def _on_peers_changed(self, event: PeersChanged, now: float) -> None:
         self.peers = {vm.vm: vm for vm in event.peers}
 
     @_handle_event.register
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -159,7 +159,7 @@
         self._heartbeat_round(now)
 
     @_handle_event.register
-    def _on_peers(self, event: PeersChanged, now: float) -> None:
+    def _on_peers_changed(self, event: PeersChanged, now: float) -> None:
         self.view.stale = True
         self.next_housekeeping = now
         for vm in self.roster.replace(event.peers, now):
