Rename _on_incarnation to _on_incarnation_raised

Named after the event. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/leases.py _on_incarnation _on_incarnation_raised

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -140,7 +140,7 @@
         self.peers = {vm.vm: vm for vm in event.peers}
 
     @_handle_event.register
-    def _on_incarnation(self, event: IncarnationRaised, now: float) -> None:
+    def _on_incarnation_raised(self, event: IncarnationRaised, now: float) -> None:
         self.me = self.me._replace(incarnation=event.incarnation)
         self.sharing.me = self.me
 
