--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -101,14 +101,14 @@
         self.actions = []
         if self.started is None:
             self.started = now
-        self._expire(now)
+        self._expire_leases(now)
         self._handle_event(event, now)
         changed = self.freshness.review(self.holder, self.told, self.known, now)
         if changed is not None:
             self.actions.append(changed)
         return self.actions + self.sharing.take_outgoing()
 
-    def _expire(self, now: float) -> None:
+    def _expire_leases(self, now: float) -> None:
         base = self.holder.version
         for lease in self.holder.expire(now):
             self.freshness.dirty = True
