Rename _in_session to _at_latest_phase

Returns the lease at the latest phase of its session. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/leases.py _in_session _at_latest_phase

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -159,7 +159,7 @@
 
     def _grant(self, lease: Lease, event: Announce, now: float) -> None:
         phase = Phase.DRAINING if lease.draining else Phase.LIVE
-        lease = self._in_session(lease, phase)
+        lease = self._at_latest_phase(lease, phase)
         stamp = event.ticket.stamp if event.ticket else now
         expires = stamp + self.settings.lease_seconds
         own = self.holder.held.get(lease.server)
@@ -170,7 +170,7 @@
         self.sharing.push(base, now)
         self._answer(lease.server, LeaseState.GRANTED, now)
 
-    def _in_session(self, lease: Lease, phase: Phase) -> Lease:
+    def _at_latest_phase(self, lease: Lease, phase: Phase) -> Lease:
         """Return a lease at a phase, or at a later one that its session reached."""
         known = self.known.get(lease.server)
         if known is not None and _same_session(known.lease, lease):
@@ -274,7 +274,7 @@
         known = self.known.get(event.server)
         match check_retire(event, known):
             case Result(tag="ok", ok=lease):
-                lease = self._in_session(lease, phase)
+                lease = self._at_latest_phase(lease, phase)
                 if self.notices.find(lease) is None:
                     self._note(lease, now)
                 in_force = self.notices.in_force(lease, now)
