Rename _note to _start_retirement

Starts a retirement. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/leases.py _note _start_retirement

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -276,14 +276,14 @@
             case Result(tag="ok", ok=lease):
                 lease = self._at_latest_phase(lease, phase)
                 if self.notices.find(lease) is None:
-                    self._note(lease, now)
+                    self._start_retirement(lease, now)
                 in_force = self.notices.in_force(lease, now)
                 state = LeaseState.IN_FORCE if in_force else LeaseState.NOTED
                 self._answer(event.server, state, now)
             case Result(error=problem):
                 self._refuse(event.server, problem, now)
 
-    def _note(self, lease: Lease, now: float) -> None:
+    def _start_retirement(self, lease: Lease, now: float) -> None:
         own = self.holder.held.get(lease.server)
         expires = own.expires if own else now + self.settings.lease_seconds
         if phase_of(lease.version) == Phase.LEFT:
