Rename _met to _current_table

Returns the table of the current incarnation. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/leases.py _met _current_table

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -195,7 +195,7 @@
 
     @_handle_message.register
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
-        table = self._met(message.sender, message.incarnation)
+        table = self._current_table(message.sender, message.incarnation)
         if table is None:
             return
         if not echoes_us(message, self.me.incarnation, now):
@@ -206,7 +206,7 @@
 
     @_handle_message.register
     def _receive_update(self, message: LeaseUpdate, now: float) -> None:
-        table = self._met(message.sender, message.incarnation)
+        table = self._current_table(message.sender, message.incarnation)
         if table is None:
             return
         if not table.apply(message):
@@ -232,7 +232,7 @@
         if message.incarnation == self.me.incarnation:
             self.notices.acknowledge(message.sender, message.version)
 
-    def _met(self, vm: VmId, incarnation: int) -> ToldTable | None:
+    def _current_table(self, vm: VmId, incarnation: int) -> ToldTable | None:
         """Return the table of a holder's present process, None for an earlier one."""
         table = self.sharing.table(vm)
         before = table.incarnation
