Rename _take to _merge_lease

Merges a lease of a peer. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/leases.py _take _merge_lease

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -215,7 +215,7 @@
         self.freshness.dirty = True
         base = self.holder.version
         for lease in message.leases:
-            self._take(lease, now)
+            self._merge_lease(lease, now)
         self.sharing.push(base, now)
         if message.ack:
             ack = LeaseAck(self.me.vm, table.incarnation, table.version)
@@ -241,7 +241,7 @@
         self.freshness.dirty |= table.incarnation != before
         return table
 
-    def _take(self, lease: Lease, now: float) -> None:
+    def _merge_lease(self, lease: Lease, now: float) -> None:
         """Merge what a peer tells of a server, also into what is held here."""
         if lease.held:
             self.known.merge(lease, now)
