Rename _witnesses to _possible_holders

Returns the VMs that may hold the server. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/leases.py _witnesses _possible_holders

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -290,13 +290,13 @@
             expires = now + self.settings.retired_seconds
         base = self.holder.version
         self._hold(lease, expires, now)
-        witnesses = self._witnesses(lease)
+        witnesses = self._possible_holders(lease)
         self.notices.add(lease, self.holder.version, set(witnesses), now)
         for vm in sorted(witnesses):
             self.sharing.send_table(vm, base, ack=True)
         self.sharing.push(base, now, skip=witnesses)
 
-    def _witnesses(self, lease: Lease) -> set[VmId]:
+    def _possible_holders(self, lease: Lease) -> set[VmId]:
         """Return the VMs that may hold a server: those of its zone, if it is known."""
         zones = (lease.zone,) if lease.zone else {vm.zone for vm in self.peers.values()}
         return {vm.vm for vm in self.peers.values() if vm.zone in zones}
