Rename _desk to _admission_state

Returns the state that admission checks depend on. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/leases.py _desk _admission_state

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -151,7 +151,9 @@
     @_handle_event.register
     def _on_announce(self, event: Announce, now: float) -> None:
         known = self.known.get(event.lease.server)
-        match check_announce(event, known, self._desk(now), self.settings, now):
+        match check_announce(
+            event, known, self._admission_state(now), self.settings, now
+        ):
             case Result(tag="ok", ok=lease):
                 self._grant(lease, event, now)
             case Result(error=problem):
@@ -301,7 +303,7 @@
         zones = (lease.zone,) if lease.zone else {vm.zone for vm in self.peers.values()}
         return {vm.vm for vm in self.peers.values() if vm.zone in zones}
 
-    def _desk(self, now: float) -> Desk:
+    def _admission_state(self, now: float) -> Desk:
         started = self.started if self.started is not None else now
         unheard = [
             vm for vm in self.peers if self.sharing.table(vm).confirmed < started
