Rename _check_against to _check_conflicts

Says what is checked. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/admission.py _check_against _check_conflicts

--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -53,7 +53,7 @@
         return _refuse(lease, "ticket-needed", "repeat the call with this ticket")
     if known is None:
         return Ok(lease)
-    return _check_against(lease, known, settings, now)
+    return _check_conflicts(lease, known, settings, now)
 
 
 def check_retire(
@@ -71,7 +71,7 @@
     return Ok(known.lease)
 
 
-def _check_against(
+def _check_conflicts(
     lease: Lease, known: KnownServer, settings: LeaseSettings, now: float
 ) -> Result[Lease, Problem]:
     session = session_of(lease.version)
