Rename _current to _ticket_valid

Says what is checked. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/admission.py _current _ticket_valid

--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -49,7 +49,7 @@
         return _refuse(lease, "vm-starting", "this VM has not heard its peers yet")
     if desk.full and known is None:
         return _refuse(lease, "table-full", "this VM holds as many servers as it may")
-    if not _current(event.ticket, desk.me, settings, now):
+    if not _ticket_valid(event.ticket, desk.me, settings, now):
         return _refuse(lease, "ticket-needed", "repeat the call with this ticket")
     if known is None:
         return Ok(lease)
@@ -86,7 +86,7 @@
     return Ok(lease)
 
 
-def _current(
+def _ticket_valid(
     ticket: Ticket | None, me: Vm, settings: LeaseSettings, now: float
 ) -> bool:
     if ticket is None or ticket.incarnation != me.incarnation:
