Rename _unseen to _lease_of_unknown_session

Names what is returned. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/admission.py _unseen _lease_of_unknown_session

--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -64,7 +64,7 @@
         detail = f"it belongs to service {known.lease.service}"
         return Error(Problem("address-taken", detail, event.server))
     if known is None or session_of(known.lease.version) < event.session:
-        return _unseen(event)
+        return _lease_of_unknown_session(event)
     if event.session and event.session < session_of(known.lease.version):
         detail = f"its latest session is {session_of(known.lease.version)}"
         return Error(Problem("session-old", detail, event.server))
@@ -94,7 +94,7 @@
     return 0 <= now - ticket.stamp <= settings.ticket_seconds
 
 
-def _unseen(event: Drain | Depart) -> Result[Lease, Problem]:
+def _lease_of_unknown_session(event: Drain | Depart) -> Result[Lease, Problem]:
     """Return a lease for a session that this VM has not seen; its zone is empty."""
     if not event.session or not event.service:
         detail = "this VM does not know the server; give its session and service"
