Rename _divide to _classify

Classifies leases as fresh or stale. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/freshness.py _divide _classify

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -46,7 +46,7 @@
         self.fresh_holders = fresh
         tables = [told[vm].leases for vm in sorted(fresh)]
         claims = _services_by_claim(holder, tables, known)
-        servers = _divide(claims, known)
+        servers = _classify(claims, known)
         if servers == self.latest:
             return None
         self.latest = servers
@@ -85,7 +85,7 @@
     return claims
 
 
-def _divide(
+def _classify(
     claims: dict[ServerId, set[tuple[int, ServiceName]]], known: KnownServers
 ) -> ServersChanged:
     fresh: list[Lease] = []
