Rename _services_by_claim to _claims_by_server

Names what is returned. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/freshness.py _services_by_claim _claims_by_server

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -45,7 +45,7 @@
         self.dirty = False
         self.fresh_holders = fresh
         tables = [told[vm].leases for vm in sorted(fresh)]
-        claims = _services_by_claim(holder, tables, known)
+        claims = _claims_by_server(holder, tables, known)
         servers = _classify(claims, known)
         if servers == self.latest:
             return None
@@ -71,7 +71,7 @@
             decisions.log("holder-fresh", vm=vm)
 
 
-def _services_by_claim(
+def _claims_by_server(
     holder: Holder, tables: list[dict[ServerId, Lease]], known: KnownServers
 ) -> dict[ServerId, set[tuple[int, ServiceName]]]:
     """Return the versions and services under which each server is held."""
