Rename _log_holders to _log_holder_changes

Logs only the changes. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/freshness.py _log_holders _log_holder_changes

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -41,7 +41,7 @@
         fresh = self._fresh_holders(told, now)
         if not self.dirty and fresh == self.fresh_holders:
             return None
-        self._log_holders(fresh)
+        self._log_holder_changes(fresh)
         self.dirty = False
         self.fresh_holders = fresh
         tables = [told[vm].leases for vm in sorted(fresh)]
@@ -64,7 +64,7 @@
         self.valid_until = min(ends, default=float("inf"))
         return frozenset(table.holder for table in fresh)
 
-    def _log_holders(self, fresh: frozenset[VmId]) -> None:
+    def _log_holder_changes(self, fresh: frozenset[VmId]) -> None:
         for vm in sorted(self.fresh_holders - fresh):
             decisions.log("holder-stale", vm=vm)
         for vm in sorted(fresh - self.fresh_holders):
