Rename _log to _log_change

Says what is logged. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/view.py _log _log_change

--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -44,13 +44,13 @@
         view = tuple(sorted([me, *(peer.vm for peer in peers if peer.live)]))
         if view == self.latest and not (due or self.lost):
             return None
-        self._log(view)
+        self._log_change(view)
         lost = tuple(sorted(self.lost))
         self.latest = view
         self.lost = set()
         return ViewChanged(view, lost)
 
-    def _log(self, view: tuple[Vm, ...]) -> None:
+    def _log_change(self, view: tuple[Vm, ...]) -> None:
         before = {vm.vm for vm in self.latest}
         after = {vm.vm for vm in view}
         decisions.log(
