--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -17,7 +17,7 @@
     LEFT = 2
 
 
-class Rumour(NamedTuple):
+class MemberUpdate(NamedTuple):
     """What one VM passes on about another, in sampled mode.
 
     Attributes:
@@ -63,7 +63,7 @@
     leaving: bool = False
     echoed: int = 0
     refused: bool = False
-    rumours: tuple[Rumour, ...] = ()
+    rumours: tuple[MemberUpdate, ...] = ()
     members: int = 0
 
 
@@ -217,7 +217,7 @@
     """
 
     sender: VmId
-    rumours: tuple[Rumour, ...]
+    rumours: tuple[MemberUpdate, ...]
     answer: bool = False
 
 
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -21,6 +21,7 @@
     IncarnationRaised,
     Leave,
     Members,
+    MemberUpdate,
     Message,
     PeerAhead,
     PeerLearned,
@@ -28,7 +29,6 @@
     ProbeAnswer,
     ProbeRequest,
     Received,
-    Rumour,
     SendMessage,
     Superseded,
     Tick,
@@ -398,7 +398,7 @@
         """Act on a peer that entered or left the view."""
         self._send_heartbeat(peer, now)
 
-    def _updates_for(self, peer: Peer) -> tuple[Rumour, ...]:
+    def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
         """Return what a heartbeat passes on about third VMs: here nothing."""
         return ()
 
--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -7,13 +7,13 @@
 import xxhash
 
 from kumquatmux_core.identity import VmId
-from kumquatmux_membership.events import Rumour, RumourKind
+from kumquatmux_membership.events import MemberUpdate, RumourKind
 
 RUMOURS_PER_HEARTBEAT = 8
 SENDS_OF_EACH = 16
 
 
-def order(rumour: Rumour) -> tuple[int, int, int]:
+def order(rumour: MemberUpdate) -> tuple[int, int, int]:
     """Return the order of rumours about one VM; the higher one is the later one."""
     return rumour.incarnation, rumour.refutations, rumour.kind
 
@@ -22,11 +22,11 @@
     """The latest rumour about each VM and those still to be passed on."""
 
     def __init__(self) -> None:
-        self.latest: dict[VmId, Rumour] = {}
+        self.latest: dict[VmId, MemberUpdate] = {}
         self.sends: dict[VmId, int] = {}
         self.digest_cache = 0
 
-    def take(self, rumour: Rumour) -> bool:
+    def take(self, rumour: MemberUpdate) -> bool:
         """Take a rumour; return whether it is news."""
         before = self.latest.get(rumour.vm)
         if before is not None and order(before) >= order(rumour):
@@ -38,7 +38,7 @@
         self.digest_cache = 0
         return True
 
-    def spread(self) -> tuple[Rumour, ...]:
+    def spread(self) -> tuple[MemberUpdate, ...]:
         """Return the rumours sent least often so far, counting them as sent."""
         if not self.sends:
             return ()
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -16,7 +16,7 @@
 from kumquatmux_membership.events import (
     Heartbeat,
     Members,
-    Rumour,
+    MemberUpdate,
     RumourKind,
 )
 from kumquatmux_membership.membership import Membership
@@ -121,7 +121,7 @@
             return peer.usable(now, self.settings)
         return not peer.left and self.rumours.says_alive(peer.vm.vm)
 
-    def _updates_for(self, peer: Peer) -> tuple[Rumour, ...]:
+    def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
         spread = self.rumours.spread()
         about = self.rumours.latest.get(peer.vm.vm)
         if about is None or about.kind == RumourKind.ALIVE or about in spread:
@@ -151,7 +151,7 @@
             everything = tuple(self.rumours.latest.values())
             self._send(message.sender, Members(self.me.vm, everything, True))
 
-    def _process_update(self, rumour: Rumour, now: float) -> None:
+    def _process_update(self, rumour: MemberUpdate, now: float) -> None:
         if rumour.vm == self.me.vm:
             self._refute_loss(rumour)
             return
@@ -168,7 +168,7 @@
         if rumour.kind == RumourKind.LEFT:
             self._mark_left(peer, now)
 
-    def _refute_loss(self, rumour: Rumour) -> None:
+    def _refute_loss(self, rumour: MemberUpdate) -> None:
         if rumour.kind == RumourKind.ALIVE or self.leaving:
             return
         if rumour.incarnation == self.me.incarnation:
@@ -197,7 +197,7 @@
         if not peer.left and now - recent <= self.settings.remove_seconds:
             return
         before = self.rumours.latest.get(peer.vm.vm)
-        rumour = Rumour(
+        rumour = MemberUpdate(
             vm=peer.vm.vm,
             incarnation=peer.vm.incarnation,
             kind=RumourKind.LEFT if peer.left else RumourKind.LOST,
@@ -216,7 +216,9 @@
     def _gossip_own_status(self, kind: RumourKind) -> None:
         about = self.me._replace(incarnation=0)
         me = self.me
-        self.rumours.take(Rumour(me.vm, me.incarnation, kind, self.refutations, about))
+        self.rumours.take(
+            MemberUpdate(me.vm, me.incarnation, kind, self.refutations, about)
+        )
 
     def _expedite_next_round(self, now: float) -> None:
         """Pass news on before the next round is due."""
