--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.problems import Problem
 
 
-class RumourKind(IntEnum):
+class MemberStatus(IntEnum):
     """What a rumour says; of equal incarnations the higher kind wins."""
 
     ALIVE = 0
@@ -30,7 +30,7 @@
 
     vm: VmId
     incarnation: int
-    kind: RumourKind
+    kind: MemberStatus
     refutations: int = 0
     about: Vm | None = None
 
--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from kumquatmux_core.identity import VmId
-from kumquatmux_membership.events import MemberUpdate, RumourKind
+from kumquatmux_membership.events import MemberStatus, MemberUpdate
 
 RUMOURS_PER_HEARTBEAT = 8
 SENDS_OF_EACH = 16
@@ -54,7 +54,7 @@
     def says_alive(self, vm: VmId) -> bool:
         """Whether no rumour says that a VM was lost or has left."""
         rumour = self.latest.get(vm)
-        return rumour is None or rumour.kind == RumourKind.ALIVE
+        return rumour is None or rumour.kind == MemberStatus.ALIVE
 
     def digest(self) -> int:
         """Return 32 bits that are the same on VMs with the same rumours, never 0."""
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -16,8 +16,8 @@
 from kumquatmux_membership.events import (
     Heartbeat,
     Members,
+    MemberStatus,
     MemberUpdate,
-    RumourKind,
 )
 from kumquatmux_membership.membership import Membership
 from kumquatmux_membership.peer import NEVER, Peer
@@ -87,7 +87,7 @@
         self.ring_key: frozenset[VmId] | None = None
         self.next_sync = NEVER
         self.differs_since = NEVER
-        self._gossip_own_status(RumourKind.ALIVE)
+        self._gossip_own_status(MemberStatus.ALIVE)
         self._update_neighbours(NEVER)
 
     def _heartbeat_targets(self, now: float) -> list[Peer]:
@@ -124,7 +124,7 @@
     def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
         spread = self.rumours.spread()
         about = self.rumours.latest.get(peer.vm.vm)
-        if about is None or about.kind == RumourKind.ALIVE or about in spread:
+        if about is None or about.kind == MemberStatus.ALIVE or about in spread:
             return spread
         return (*spread, about._replace(about=None))
 
@@ -165,16 +165,16 @@
         if peer is None:
             return
         self._update_incarnation(peer, rumour.incarnation)
-        if rumour.kind == RumourKind.LEFT:
+        if rumour.kind == MemberStatus.LEFT:
             self._mark_left(peer, now)
 
     def _refute_loss(self, rumour: MemberUpdate) -> None:
-        if rumour.kind == RumourKind.ALIVE or self.leaving:
+        if rumour.kind == MemberStatus.ALIVE or self.leaving:
             return
         if rumour.incarnation == self.me.incarnation:
             self.refutations = max(self.refutations, rumour.refutations + 1)
             decisions.log("rumour-refuted", refutations=self.refutations)
-            self._gossip_own_status(RumourKind.ALIVE)
+            self._gossip_own_status(MemberStatus.ALIVE)
 
     def _excludes(self, peer: Peer, now: float) -> bool:
         judged = peer.vm.vm in self.neighbours and peer.contact != NEVER
@@ -200,20 +200,20 @@
         rumour = MemberUpdate(
             vm=peer.vm.vm,
             incarnation=peer.vm.incarnation,
-            kind=RumourKind.LEFT if peer.left else RumourKind.LOST,
+            kind=MemberStatus.LEFT if peer.left else MemberStatus.LOST,
             refutations=before.refutations if before else 0,
         )
         if self.rumours.take(rumour):
             self._expedite_next_round(now)
 
     def _on_shutdown(self, now: float) -> None:
-        self._gossip_own_status(RumourKind.LEFT)
+        self._gossip_own_status(MemberStatus.LEFT)
 
     def _on_own_incarnation_raised(self) -> None:
         self.refutations = 0
-        self._gossip_own_status(RumourKind.ALIVE)
+        self._gossip_own_status(MemberStatus.ALIVE)
 
-    def _gossip_own_status(self, kind: RumourKind) -> None:
+    def _gossip_own_status(self, kind: MemberStatus) -> None:
         about = self.me._replace(incarnation=0)
         me = self.me
         self.rumours.take(
--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -6,7 +6,7 @@
 from kumquatmux_core.identity import VmId, ZoneName
 from kumquatmux_lab.faultruns.membership import FaultRun, make_vms
 from kumquatmux_lab.faultruns.membership_world import NetworkSettings, Tuning, World
-from kumquatmux_membership.events import Leave, MemberUpdate, RumourKind
+from kumquatmux_membership.events import Leave, MemberStatus, MemberUpdate
 from kumquatmux_membership.rumours import Rumours
 from kumquatmux_membership.sampled import ring_neighbours
 from kumquatmux_membership.settings import MembershipSettings
@@ -93,12 +93,12 @@
 
 
 ORDERED = [
-    MemberUpdate(VmId("a"), 1, RumourKind.ALIVE),
-    MemberUpdate(VmId("a"), 1, RumourKind.LOST),
-    MemberUpdate(VmId("a"), 1, RumourKind.ALIVE, 1),
-    MemberUpdate(VmId("a"), 1, RumourKind.LOST, 1),
-    MemberUpdate(VmId("a"), 1, RumourKind.LEFT, 1),
-    MemberUpdate(VmId("a"), 2, RumourKind.ALIVE),
+    MemberUpdate(VmId("a"), 1, MemberStatus.ALIVE),
+    MemberUpdate(VmId("a"), 1, MemberStatus.LOST),
+    MemberUpdate(VmId("a"), 1, MemberStatus.ALIVE, 1),
+    MemberUpdate(VmId("a"), 1, MemberStatus.LOST, 1),
+    MemberUpdate(VmId("a"), 1, MemberStatus.LEFT, 1),
+    MemberUpdate(VmId("a"), 2, MemberStatus.ALIVE),
 ]
 
 
