--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -30,7 +30,7 @@
 
     vm: VmId
     incarnation: int
-    kind: MemberStatus
+    status: MemberStatus
     refutations: int = 0
     about: Vm | None = None
 
--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -15,7 +15,7 @@
 
 def order(rumour: MemberUpdate) -> tuple[int, int, int]:
     """Return the order of rumours about one VM; the higher one is the later one."""
-    return rumour.incarnation, rumour.refutations, rumour.kind
+    return rumour.incarnation, rumour.refutations, rumour.status
 
 
 class Rumours:
@@ -54,7 +54,7 @@
     def says_alive(self, vm: VmId) -> bool:
         """Whether no rumour says that a VM was lost or has left."""
         rumour = self.latest.get(vm)
-        return rumour is None or rumour.kind == MemberStatus.ALIVE
+        return rumour is None or rumour.status == MemberStatus.ALIVE
 
     def digest(self) -> int:
         """Return 32 bits that are the same on VMs with the same rumours, never 0."""
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -124,7 +124,7 @@
     def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
         spread = self.rumours.spread()
         about = self.rumours.latest.get(peer.vm.vm)
-        if about is None or about.kind == MemberStatus.ALIVE or about in spread:
+        if about is None or about.status == MemberStatus.ALIVE or about in spread:
             return spread
         return (*spread, about._replace(about=None))
 
@@ -165,11 +165,11 @@
         if peer is None:
             return
         self._update_incarnation(peer, rumour.incarnation)
-        if rumour.kind == MemberStatus.LEFT:
+        if rumour.status == MemberStatus.LEFT:
             self._mark_left(peer, now)
 
     def _refute_loss(self, rumour: MemberUpdate) -> None:
-        if rumour.kind == MemberStatus.ALIVE or self.leaving:
+        if rumour.status == MemberStatus.ALIVE or self.leaving:
             return
         if rumour.incarnation == self.me.incarnation:
             self.refutations = max(self.refutations, rumour.refutations + 1)
@@ -200,7 +200,7 @@
         rumour = MemberUpdate(
             vm=peer.vm.vm,
             incarnation=peer.vm.incarnation,
-            kind=MemberStatus.LEFT if peer.left else MemberStatus.LOST,
+            status=MemberStatus.LEFT if peer.left else MemberStatus.LOST,
             refutations=before.refutations if before else 0,
         )
         if self.rumours.take(rumour):
