Rename about to vm_record

It is the record of the VM that the update is about.

Rename: libs/membership/src/kumquatmux_membership/events.py about vm_record

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -32,7 +32,7 @@
     incarnation: int
     status: MemberStatus
     refutations: int = 0
-    about: Vm | None = None
+    vm_record: Vm | None = None
 
 
 class Heartbeat(NamedTuple):
--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -31,8 +31,8 @@
         before = self.latest.get(rumour.vm)
         if before is not None and order(before) >= order(rumour):
             return False
-        if rumour.about is None and before is not None:
-            rumour = rumour._replace(about=before.about)
+        if rumour.vm_record is None and before is not None:
+            rumour = rumour._replace(vm_record=before.vm_record)
         self.latest[rumour.vm] = rumour
         self.sends[rumour.vm] = 0
         self.digest_cache = 0
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -126,7 +126,7 @@
         about = self.rumours.latest.get(peer.vm.vm)
         if about is None or about.status == MemberStatus.ALIVE or about in spread:
             return spread
-        return (*spread, about._replace(about=None))
+        return (*spread, about._replace(vm_record=None))
 
     def _gossip_digest(self) -> int:
         return self.rumours.digest()
@@ -160,8 +160,8 @@
         self._expedite_next_round(now)
         self.touched.add(rumour.vm)
         peer = self.peers.get(rumour.vm)
-        if peer is None and rumour.about is not None:
-            peer = self._add_peer(rumour.about, now)
+        if peer is None and rumour.vm_record is not None:
+            peer = self._add_peer(rumour.vm_record, now)
         if peer is None:
             return
         self._update_incarnation(peer, rumour.incarnation)
