--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -55,7 +55,7 @@
 
     sender: VmId
     incarnation: int
-    stamp: float
+    timestamp: float
     echo: float
     revision: int
     digest: str
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -176,10 +176,10 @@
     @_handle_message.register
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
         peer = self._speaker(message.sender, message.incarnation)
-        if peer is None or message.stamp <= peer.heard:
+        if peer is None or message.timestamp <= peer.heard:
             return
         self.touched.add(message.sender)
-        peer.heard = message.stamp
+        peer.heard = message.timestamp
         peer.heard_at = now
         peer.introduced = True
         current = echoes_us(message, self.me.incarnation, now)
@@ -304,7 +304,7 @@
         message = Heartbeat(
             sender=self.me.vm,
             incarnation=self.me.incarnation,
-            stamp=self.latest_stamp,
+            timestamp=self.latest_stamp,
             echo=peer.heard,
             revision=self.revision,
             digest=self.digest,
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -217,5 +217,5 @@
     ahead = PeerAhead(other.vm, 5)
     assert ahead in membership.handle(Received(beat), 10.0)
     assert ahead not in membership.handle(Received(beat), 10.1)
-    older = beat._replace(incarnation=0, stamp=8.0)
+    older = beat._replace(incarnation=0, timestamp=8.0)
     assert ahead not in membership.handle(Received(older), 10.2)
