--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -56,7 +56,7 @@
     sender: VmId
     incarnation: int
     timestamp: float
-    echo: float
+    echoed_timestamp: float
     revision: int
     digest: str
     leases: int
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -183,8 +183,8 @@
         peer.heard_at = now
         peer.introduced = True
         current = echoes_us(message, self.me.incarnation, now)
-        if current and message.echo >= self.awake_since:
-            peer.echoed(message.echo)
+        if current and message.echoed_timestamp >= self.awake_since:
+            peer.echoed(message.echoed_timestamp)
             self.actions += self.probes.answer(peer)
         unconfirmed = now - peer.contact > self.settings.remove_seconds
         if unconfirmed and now - peer.sent >= REPLY_GAP_SECONDS:
@@ -305,7 +305,7 @@
             sender=self.me.vm,
             incarnation=self.me.incarnation,
             timestamp=self.latest_stamp,
-            echo=peer.heard,
+            echoed_timestamp=peer.heard,
             revision=self.revision,
             digest=self.digest,
             leases=self.leases,
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -135,7 +135,7 @@
         for rumour in message.rumours:
             self._process_update(rumour, now)
         watched_only_there = peer.vm.vm not in self.neighbours
-        if watched_only_there and now - message.echo >= REPLY_AGE_SECONDS:
+        if watched_only_there and now - message.echoed_timestamp >= REPLY_AGE_SECONDS:
             self._send_heartbeat(peer, now)
         if message.members == self.rumours.digest():
             self.differs_since = now
--- a/libs/membership/src/kumquatmux_membership/stamps.py
+++ b/libs/membership/src/kumquatmux_membership/stamps.py
@@ -18,4 +18,4 @@
     """
     if message.echoed != incarnation:
         return False
-    return 0 < message.echo <= now + STAMP_AHEAD_SECONDS
+    return 0 < message.echoed_timestamp <= now + STAMP_AHEAD_SECONDS
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -45,9 +45,9 @@
     def confirm(self, message: Heartbeat) -> bool:
         """Take a heartbeat's echo; return whether changes have to be asked for."""
         if message.leases <= self.version:
-            self.confirmed = max(self.confirmed, message.echo)
+            self.confirmed = max(self.confirmed, message.echoed_timestamp)
             return False
-        self.pending = message.echo
+        self.pending = message.echoed_timestamp
         self.pending_version = message.leases
         return True
 
