--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -61,7 +61,7 @@
     digest: str
     leases: int
     leaving: bool = False
-    echoed: int = 0
+    echoed_incarnation: int = 0
     refused: bool = False
     rumours: tuple[MemberUpdate, ...] = ()
     members: int = 0
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -310,7 +310,7 @@
             digest=self.digest,
             leases=self.leases,
             leaving=self.leaving,
-            echoed=peer.vm.incarnation,
+            echoed_incarnation=peer.vm.incarnation,
             refused=self._excludes(peer, now),
             rumours=self._updates_for(peer),
             members=self._gossip_digest(),
--- a/libs/membership/src/kumquatmux_membership/stamps.py
+++ b/libs/membership/src/kumquatmux_membership/stamps.py
@@ -16,6 +16,6 @@
         incarnation: Our incarnation.
         now: Our clock, in seconds; stamps sent at one moment run ahead of it a little.
     """
-    if message.echoed != incarnation:
+    if message.echoed_incarnation != incarnation:
         return False
     return 0 < message.echoed_timestamp <= now + STAMP_AHEAD_SECONDS
--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -52,7 +52,9 @@
 
 
 def beat(leases, echo, incarnation=7):
-    message = Heartbeat(PEER.vm, incarnation, 1.0, echo, 0, "", leases, echoed=100)
+    message = Heartbeat(
+        PEER.vm, incarnation, 1.0, echo, 0, "", leases, echoed_incarnation=100
+    )
     return Received(message)
 
 
@@ -108,7 +110,7 @@
 
 ECHOES = {
     "of another incarnation": beat(1, START)._replace(
-        message=beat(1, START).message._replace(echoed=99)
+        message=beat(1, START).message._replace(echoed_incarnation=99)
     ),
     "from the future": beat(1, START + 5),
     "of nothing": beat(1, 0.0),
