Rename leases to lease_table_version

It is the version of the lease table.

Rename: libs/membership/src/kumquatmux_membership/events.py leases lease_table_version

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -59,7 +59,7 @@
     echoed_timestamp: float
     revision: int
     digest: str
-    leases: int
+    lease_table_version: int
     leaving: bool = False
     echoed_incarnation: int = 0
     refused: bool = False
@@ -174,7 +174,7 @@
     incarnation: int
     version: int
     complete: bool
-    leases: tuple[Lease, ...]
+    lease_table_version: tuple[Lease, ...]
     base: int = 0
     ack: bool = False
 
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -308,7 +308,7 @@
             echoed_timestamp=peer.heard,
             revision=self.revision,
             digest=self.digest,
-            leases=self.leases,
+            lease_table_version=self.leases,
             leaving=self.leaving,
             echoed_incarnation=peer.vm.incarnation,
             refused=self._excludes(peer, now),
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -44,11 +44,11 @@
 
     def confirm(self, message: Heartbeat) -> bool:
         """Take a heartbeat's echo; return whether changes have to be asked for."""
-        if message.leases <= self.version:
+        if message.lease_table_version <= self.version:
             self.confirmed = max(self.confirmed, message.echoed_timestamp)
             return False
         self.pending = message.echoed_timestamp
-        self.pending_version = message.leases
+        self.pending_version = message.lease_table_version
         return True
 
     def apply(self, update: LeaseUpdate) -> bool:
@@ -59,7 +59,7 @@
             self.leases = {}
         elif update.base > self.version:
             return False
-        for lease in update.leases:
+        for lease in update.lease_table_version:
             if lease.held:
                 self.leases[lease.server] = lease
             else:
