Rename refused to excludes_receiver

The sender excludes the receiver from its view.

Rename: libs/membership/src/kumquatmux_membership/events.py refused excludes_receiver

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -62,7 +62,7 @@
     lease_table_version: int
     leaving: bool = False
     echoed_incarnation: int = 0
-    refused: bool = False
+    excludes_receiver: bool = False
     rumours: tuple[MemberUpdate, ...] = ()
     members: int = 0
 
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -189,7 +189,7 @@
         unconfirmed = now - peer.contact > self.settings.remove_seconds
         if unconfirmed and now - peer.sent >= REPLY_GAP_SECONDS:
             self._send_heartbeat(peer, now)
-        peer.refused = message.refused and not self.leaving
+        peer.refused = message.excludes_receiver and not self.leaving
         if message.leaving:
             self._mark_left(peer, now)
         if message.revision > self.revision:
@@ -311,7 +311,7 @@
             lease_table_version=self.leases,
             leaving=self.leaving,
             echoed_incarnation=peer.vm.incarnation,
-            refused=self._excludes(peer, now),
+            excludes_receiver=self._excludes(peer, now),
             rumours=self._updates_for(peer),
             members=self._gossip_digest(),
         )
