--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -63,7 +63,7 @@
     leaving: bool = False
     echoed_incarnation: int = 0
     excludes_receiver: bool = False
-    rumours: tuple[MemberUpdate, ...] = ()
+    updates: tuple[MemberUpdate, ...] = ()
     members: int = 0
 
 
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -312,7 +312,7 @@
             leaving=self.leaving,
             echoed_incarnation=peer.vm.incarnation,
             excludes_receiver=self._excludes(peer, now),
-            rumours=self._updates_for(peer),
+            updates=self._updates_for(peer),
             members=self._gossip_digest(),
         )
         peer.sent = now
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -132,7 +132,7 @@
         return self.rumours.digest()
 
     def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
-        for rumour in message.rumours:
+        for rumour in message.updates:
             self._process_update(rumour, now)
         watched_only_there = peer.vm.vm not in self.neighbours
         if watched_only_there and now - message.echoed_timestamp >= REPLY_AGE_SECONDS:
