Rename members to gossip_digest

Digest of the sender's gossip state.

Rename: libs/membership/src/kumquatmux_membership/events.py members gossip_digest

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -64,7 +64,7 @@
     echoed_incarnation: int = 0
     excludes_receiver: bool = False
     updates: tuple[MemberUpdate, ...] = ()
-    members: int = 0
+    gossip_digest: int = 0
 
 
 class Hello(NamedTuple):
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -313,7 +313,7 @@
             echoed_incarnation=peer.vm.incarnation,
             excludes_receiver=self._excludes(peer, now),
             updates=self._updates_for(peer),
-            members=self._gossip_digest(),
+            gossip_digest=self._gossip_digest(),
         )
         peer.sent = now
         self._send(peer.vm.vm, message)
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -137,7 +137,7 @@
         watched_only_there = peer.vm.vm not in self.neighbours
         if watched_only_there and now - message.echoed_timestamp >= REPLY_AGE_SECONDS:
             self._send_heartbeat(peer, now)
-        if message.members == self.rumours.digest():
+        if message.gossip_digest == self.rumours.digest():
             self.differs_since = now
         elif now - self.differs_since > DIFFERENCE_SECONDS and now >= self.next_sync:
             self.next_sync = now + SYNC_SECONDS
