Rename revision to settings_revision

Says of what.

Rename: libs/membership/src/kumquatmux_membership/events.py revision settings_revision

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -57,7 +57,7 @@
     incarnation: int
     timestamp: float
     echoed_timestamp: float
-    revision: int
+    settings_revision: int
     digest: str
     lease_table_version: int
     leaving: bool = False
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -192,8 +192,8 @@
         peer.refused = message.excludes_receiver and not self.leaving
         if message.leaving:
             self._mark_left(peer, now)
-        if message.revision > self.revision:
-            self.actions.append(PeerAhead(peer.vm.vm, message.revision))
+        if message.settings_revision > self.revision:
+            self.actions.append(PeerAhead(peer.vm.vm, message.settings_revision))
         self._process_gossip(peer, message, now)
 
     @_handle_message.register
@@ -306,7 +306,7 @@
             incarnation=self.me.incarnation,
             timestamp=self.latest_stamp,
             echoed_timestamp=peer.heard,
-            revision=self.revision,
+            settings_revision=self.revision,
             digest=self.digest,
             lease_table_version=self.leases,
             leaving=self.leaving,
