--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -79,7 +79,7 @@
     """
 
     vm: Vm
-    known: tuple[Vm, ...] = ()
+    known_vms: tuple[Vm, ...] = ()
     answer: bool = False
 
     @property
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -204,7 +204,7 @@
         if self._speaker(message.vm.vm, message.vm.incarnation) is None:
             return
         peer.vm = message.vm
-        for vm in message.known:
+        for vm in message.known_vms:
             if vm.vm != self.me.vm:
                 self._add_peer(vm, now)
         if not message.answer:
