Rename answer to is_reply

Says that the message is a reply; Hello.

Rename: libs/membership/src/kumquatmux_membership/events.py answer is_reply

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -80,7 +80,7 @@
 
     vm: Vm
     known_vms: tuple[Vm, ...] = ()
-    answer: bool = False
+    is_reply: bool = False
 
     @property
     def sender(self) -> VmId:
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -207,7 +207,7 @@
         for vm in message.known_vms:
             if vm.vm != self.me.vm:
                 self._add_peer(vm, now)
-        if not message.answer:
+        if not message.is_reply:
             self._send_heartbeat(peer, now)
             self._send(peer.vm.vm, self._make_hello(answer=True))
 
