Rename number to probe_id

It identifies the probe; ProbeRequest.

Rename: libs/membership/src/kumquatmux_membership/events.py number probe_id

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -105,7 +105,7 @@
 
     sender: VmId
     target: VmId
-    number: int
+    probe_id: int
 
 
 class ProbeAnswer(NamedTuple):
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -56,5 +56,5 @@
 
     def _answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
         incarnation = peer.vm.incarnation
-        answer = ProbeAnswer(self.me, request.target, request.number, incarnation)
+        answer = ProbeAnswer(self.me, request.target, request.probe_id, incarnation)
         return SendMessage(request.sender, answer)
