Rename complete to is_complete

A flag; LeaseUpdate.

Rename: libs/membership/src/kumquatmux_membership/events.py complete is_complete

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -173,7 +173,7 @@
     sender: VmId
     incarnation: int
     version: int
-    complete: bool
+    is_complete: bool
     lease_table_version: tuple[Lease, ...]
     base: int = 0
     ack: bool = False
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -75,7 +75,7 @@
             sender=self.me.vm,
             incarnation=self.me.incarnation,
             version=self.holder.version,
-            complete=complete,
+            is_complete=complete,
             leases=leases,
             base=since,
             ack=ack,
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -55,7 +55,7 @@
         """Take changes or a complete table; return False if changes are missing."""
         if update.version <= self.version:
             return True
-        if update.complete:
+        if update.is_complete:
             self.leases = {}
         elif update.base > self.version:
             return False
--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -240,7 +240,7 @@
     for since, incarnation in ((1, 100), (0, 100), (1, 99)):
         request = LeaseRequest(PEER.vm, since, incarnation)
         sent = messages(made.handle(Received(request), START), LeaseUpdate)[0]
-        answers.append((sent.complete, len(sent.lease_table_version), sent.version))
+        answers.append((sent.is_complete, len(sent.lease_table_version), sent.version))
     assert answers == [(False, 1, 2), (True, 2, 2), (True, 2, 2)]
 
 
