Rename base to base_version

It is a version of the table; LeaseUpdate.

Rename: libs/membership/src/kumquatmux_membership/events.py base base_version

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -175,7 +175,7 @@
     version: int
     is_complete: bool
     lease_table_version: tuple[Lease, ...]
-    base: int = 0
+    base_version: int = 0
     ack: bool = False
 
 
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -77,7 +77,7 @@
             version=self.holder.version,
             is_complete=complete,
             leases=leases,
-            base=since,
+            base_version=since,
             ack=ack,
         )
         self.send(vm, update)
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -57,7 +57,7 @@
             return True
         if update.is_complete:
             self.leases = {}
-        elif update.base > self.version:
+        elif update.base_version > self.version:
             return False
         for lease in update.lease_table_version:
             if lease.held:
