--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -176,7 +176,7 @@
     is_complete: bool
     lease_table_version: tuple[Lease, ...]
     base_version: int = 0
-    ack: bool = False
+    ack_requested: bool = False
 
 
 class LeaseRequest(NamedTuple):
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -219,7 +219,7 @@
         for lease in message.lease_table_version:
             self._merge_lease(lease, now)
         self.sharing.push(base, now)
-        if message.ack:
+        if message.ack_requested:
             ack = LeaseAck(self.me.vm, table.incarnation, table.version)
             self.sharing.send(message.sender, ack)
 
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -78,7 +78,7 @@
             is_complete=complete,
             leases=leases,
             base_version=since,
-            ack=ack,
+            ack_requested=ack,
         )
         self.send(vm, update)
 
