Rename since to since_version

It is a version of the table; LeaseRequest.

Rename: libs/membership/src/kumquatmux_membership/events.py since since_version

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -189,7 +189,7 @@
     """
 
     sender: VmId
-    since: int = 0
+    since_version: int = 0
     incarnation: int = 0
 
 
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -226,7 +226,7 @@
     @_handle_message.register
     def _receive_request(self, message: LeaseRequest, now: float) -> None:
         mine = message.incarnation == self.me.incarnation
-        since = message.since if mine else 0
+        since = message.since_version if mine else 0
         self.sharing.send_table(message.sender, since, ack=False)
 
     @_handle_message.register
