--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -153,7 +153,7 @@
     left: bool
     version: int
     busy: int = -1
-    open: int = -1
+    open_connections: int = -1
     held: bool = True
 
 
