Rename gap to gap_seconds

Names the unit; ViewSuspended.

Rename: libs/membership/src/kumquatmux_membership/events.py gap gap_seconds

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -339,7 +339,7 @@
         gap: How long it stood still, in seconds.
     """
 
-    gap: float
+    gap_seconds: float
 
 
 class ViewChanged(NamedTuple):
