--- a/libs/membership/src/kumquatmux_membership/clock.py
+++ b/libs/membership/src/kumquatmux_membership/clock.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class SteadyClock:
+class MonotonicClock:
     """Turns readings of a clock that may jump back into a growing one.
 
     Args:
--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from kumquatmux_core.identity import Vm
-from kumquatmux_membership.clock import SteadyClock
+from kumquatmux_membership.clock import MonotonicClock
 from kumquatmux_membership.events import (
     Action,
     Event,
@@ -38,7 +38,7 @@
         leases: LeaseSettings,
         random: Random,
     ) -> None:
-        self.clock = SteadyClock(leases.stale_seconds)
+        self.clock = MonotonicClock(leases.stale_seconds)
         kind = SampledMembership if membership.fanout else Membership
         self.membership = kind(me, peers, membership, random)
         self.leases = LeaseTable(me, leases)
