--- a/libs/membership/src/kumquatmux_membership/clock.py
+++ b/libs/membership/src/kumquatmux_membership/clock.py
@@ -11,8 +11,8 @@
             that whatever was fresh before the jump is not fresh after it.
     """
 
-    def __init__(self, penalty_seconds: float) -> None:
-        self.penalty_seconds = penalty_seconds
+    def __init__(self, jump_advance_seconds: float) -> None:
+        self.penalty_seconds = jump_advance_seconds
         self.offset = 0.0
         self.latest = float("-inf")
 
