Rename penalty_seconds to jump_advance_seconds

How far the clock advances after a backward jump.

Rename: libs/membership/src/kumquatmux_membership/clock.py penalty_seconds jump_advance_seconds

--- a/libs/membership/src/kumquatmux_membership/clock.py
+++ b/libs/membership/src/kumquatmux_membership/clock.py
@@ -12,14 +12,14 @@
     """
 
     def __init__(self, jump_advance_seconds: float) -> None:
-        self.penalty_seconds = jump_advance_seconds
+        self.jump_advance_seconds = jump_advance_seconds
         self.offset = 0.0
         self.latest = float("-inf")
 
     def read(self, now: float) -> float:
         """Return the steady time for a reading, in seconds."""
         if now + self.offset < self.latest:
-            self.offset = self.latest + self.penalty_seconds - now
+            self.offset = self.latest + self.jump_advance_seconds - now
         self.latest = now + self.offset
         return self.latest
 
