--- a/libs/membership/src/kumquatmux_membership/clock.py
+++ b/libs/membership/src/kumquatmux_membership/clock.py
@@ -14,14 +14,14 @@
     def __init__(self, jump_advance_seconds: float) -> None:
         self.jump_advance_seconds = jump_advance_seconds
         self.offset = 0.0
-        self.latest = float("-inf")
+        self.latest_time = float("-inf")
 
     def read(self, now: float) -> float:
         """Return the steady time for a reading, in seconds."""
-        if now + self.offset < self.latest:
-            self.offset = self.latest + self.jump_advance_seconds - now
-        self.latest = now + self.offset
-        return self.latest
+        if now + self.offset < self.latest_time:
+            self.offset = self.latest_time + self.jump_advance_seconds - now
+        self.latest_time = now + self.offset
+        return self.latest_time
 
     def reading(self, steady: float) -> float:
         """Return the reading that a steady time stands for, in seconds."""
