Rename now to source_time

It is the time of the source clock.

Rename: libs/membership/src/kumquatmux_membership/clock.py now source_time

--- a/libs/membership/src/kumquatmux_membership/clock.py
+++ b/libs/membership/src/kumquatmux_membership/clock.py
@@ -16,11 +16,11 @@
         self.offset = 0.0
         self.latest_time = float("-inf")
 
-    def read(self, now: float) -> float:
+    def read(self, source_time: float) -> float:
         """Return the steady time for a reading, in seconds."""
-        if now + self.offset < self.latest_time:
-            self.offset = self.latest_time + self.jump_advance_seconds - now
-        self.latest_time = now + self.offset
+        if source_time + self.offset < self.latest_time:
+            self.offset = self.latest_time + self.jump_advance_seconds - source_time
+        self.latest_time = source_time + self.offset
         return self.latest_time
 
     def reading(self, steady: float) -> float:
