Rename read to from_source

Converts a time of the source clock.

Rename: libs/membership/src/kumquatmux_membership/clock.py read from_source

--- a/libs/membership/src/kumquatmux_membership/clock.py
+++ b/libs/membership/src/kumquatmux_membership/clock.py
@@ -16,7 +16,7 @@
         self.offset = 0.0
         self.latest_time = float("-inf")
 
-    def read(self, source_time: float) -> float:
+    def from_source(self, source_time: float) -> float:
         """Return the steady time for a reading, in seconds."""
         if source_time + self.offset < self.latest_time:
             self.offset = self.latest_time + self.jump_advance_seconds - source_time
--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -80,7 +80,7 @@
             What the caller does, in this order; the first is a ``LeaseAnswer`` if a
             backend server called.
         """
-        steady = self.clock.read(now)
+        steady = self.clock.from_source(now)
         actions = self.leases.handle(event, steady)
         self.membership.note_leases(self.leases.holder.version)
         seen = self.membership.handle(event, steady)
