Rename reading to to_source

Converts to a time of the source clock.

Rename: libs/membership/src/kumquatmux_membership/clock.py reading to_source

--- a/libs/membership/src/kumquatmux_membership/clock.py
+++ b/libs/membership/src/kumquatmux_membership/clock.py
@@ -23,6 +23,6 @@
         self.latest_time = source_time + self.offset
         return self.latest_time
 
-    def reading(self, monotonic_time: float) -> float:
+    def to_source(self, monotonic_time: float) -> float:
         """Return the reading that a steady time stands for, in seconds."""
         return monotonic_time - self.offset
--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -46,7 +46,7 @@
     @property
     def valid_until(self) -> float:
         """Reading of the clock from which fresh servers need a ``Tick`` first."""
-        return self.clock.reading(self.leases.valid_until)
+        return self.clock.to_source(self.leases.valid_until)
 
     def use_settings(
         self, membership: MembershipSettings, leases: LeaseSettings
