Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/coordinator.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -32,7 +32,7 @@
 
     def __init__(
         self,
-        me: Vm,
+        local_vm: Vm,
         peers: tuple[Vm, ...],
         membership: MembershipSettings,
         leases: LeaseSettings,
@@ -40,8 +40,8 @@
     ) -> None:
         self.clock = MonotonicClock(leases.stale_seconds)
         kind = SampledMembership if membership.fanout else Membership
-        self.membership = kind(me, peers, membership, random)
-        self.leases = LeaseTable(me, leases)
+        self.membership = kind(local_vm, peers, membership, random)
+        self.leases = LeaseTable(local_vm, leases)
 
     @property
     def valid_until(self) -> float:
