--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -34,13 +34,13 @@
         self,
         local_vm: Vm,
         peers: tuple[Vm, ...],
-        membership: MembershipSettings,
+        membership_settings: MembershipSettings,
         leases: LeaseSettings,
         random: Random,
     ) -> None:
         self.clock = MonotonicClock(leases.stale_seconds)
-        kind = SampledMembership if membership.fanout else Membership
-        self.membership = kind(local_vm, peers, membership, random)
+        kind = SampledMembership if membership_settings.fanout else Membership
+        self.membership = kind(local_vm, peers, membership_settings, random)
         self.leases = LeaseTable(local_vm, leases)
 
     @property
