Rename leases to lease_settings

They are settings.

Rename: libs/membership/src/kumquatmux_membership/coordinator.py leases lease_settings

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -35,13 +35,13 @@
         local_vm: Vm,
         peers: tuple[Vm, ...],
         membership_settings: MembershipSettings,
-        leases: LeaseSettings,
+        lease_settings: LeaseSettings,
         random: Random,
     ) -> None:
-        self.clock = MonotonicClock(leases.stale_seconds)
+        self.clock = MonotonicClock(lease_settings.stale_seconds)
         kind = SampledMembership if membership_settings.fanout else Membership
         self.membership = kind(local_vm, peers, membership_settings, random)
-        self.leases = LeaseTable(local_vm, leases)
+        self.leases = LeaseTable(local_vm, lease_settings)
 
     @property
     def valid_until(self) -> float:
