Rename membership to membership_settings

They are settings.

Rename: libs/membership/src/kumquatmux_membership/coordinator.py membership membership_settings

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -49,10 +49,10 @@
         return self.clock.to_source(self.leases.valid_until)
 
     def use_settings(
-        self, membership: MembershipSettings, leases: LeaseSettings
+        self, membership_settings: MembershipSettings, leases: LeaseSettings
     ) -> None:
         """Bring other periods and timeouts into force at run time."""
-        self.membership.settings = membership
+        self.membership.settings = membership_settings
         self.leases.use_settings(leases)
 
     def note_settings(self, revision: int, digest: str) -> None:
