Rename leases to lease_settings

They are settings.

Rename: libs/membership/src/kumquatmux_membership/coordinator.py leases lease_settings

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -49,11 +49,11 @@
         return self.clock.to_source(self.leases.valid_until)
 
     def use_settings(
-        self, membership_settings: MembershipSettings, leases: LeaseSettings
+        self, membership_settings: MembershipSettings, lease_settings: LeaseSettings
     ) -> None:
         """Bring other periods and timeouts into force at run time."""
         self.membership.settings = membership_settings
-        self.leases.use_settings(leases)
+        self.leases.use_settings(lease_settings)
 
     def note_settings(self, revision: int, digest: str) -> None:
         """Take the settings revision and digest that heartbeats carry."""
