Rename kind to membership_type

It is the class of the membership.

Rename: libs/membership/src/kumquatmux_membership/coordinator.py kind membership_type

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -39,8 +39,10 @@
         random: Random,
     ) -> None:
         self.clock = MonotonicClock(lease_settings.stale_seconds)
-        kind = SampledMembership if membership_settings.fanout else Membership
-        self.membership = kind(local_vm, peers, membership_settings, random)
+        membership_type = (
+            SampledMembership if membership_settings.fanout else Membership
+        )
+        self.membership = membership_type(local_vm, peers, membership_settings, random)
         self.leases = LeaseTable(local_vm, lease_settings)
 
     @property
