Rename steady to monotonic_now

The time of the monotonic clock.

Rename: libs/membership/src/kumquatmux_membership/coordinator.py steady monotonic_now

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -82,11 +82,11 @@
             What the caller does, in this order; the first is a ``LeaseAnswer`` if a
             backend server called.
         """
-        steady = self.clock.from_source(now)
-        actions = self.leases.handle(event, steady)
+        monotonic_now = self.clock.from_source(now)
+        actions = self.leases.handle(event, monotonic_now)
         self.membership.note_leases(self.leases.holder.version)
-        seen = self.membership.handle(event, steady)
+        seen = self.membership.handle(event, monotonic_now)
         for action in seen:
             if isinstance(action, PeersChanged | IncarnationRaised):
-                actions += self.leases.handle(action, steady)
+                actions += self.leases.handle(action, monotonic_now)
         return actions + seen
