Rename seen to membership_actions

They are the actions of the membership.

Rename: libs/membership/src/kumquatmux_membership/coordinator.py seen membership_actions

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -85,8 +85,8 @@
         monotonic_now = self.clock.from_source(now)
         actions = self.leases.handle(event, monotonic_now)
         self.membership.note_leases(self.leases.holder.version)
-        seen = self.membership.handle(event, monotonic_now)
-        for action in seen:
+        membership_actions = self.membership.handle(event, monotonic_now)
+        for action in membership_actions:
             if isinstance(action, PeersChanged | IncarnationRaised):
                 actions += self.leases.handle(action, monotonic_now)
-        return actions + seen
+        return actions + membership_actions
