--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -38,7 +38,7 @@
 from kumquatmux_membership.probes import Probes
 from kumquatmux_membership.roster import UNKNOWN_INCARNATION, Roster
 from kumquatmux_membership.settings import MembershipSettings
-from kumquatmux_membership.stamps import STAMP_STEP_SECONDS, echoes_us
+from kumquatmux_membership.stamps import TIMESTAMP_STEP_SECONDS, echoes_us
 from kumquatmux_membership.view import View
 
 INCARNATION_STEP_BITS = 20
@@ -300,7 +300,7 @@
                 self._send(peer.vm.vm, self._make_hello(answer=False))
 
     def _send_heartbeat(self, peer: Peer, now: float) -> None:
-        self.latest_stamp = max(now, self.latest_stamp + STAMP_STEP_SECONDS)
+        self.latest_stamp = max(now, self.latest_stamp + TIMESTAMP_STEP_SECONDS)
         message = Heartbeat(
             sender=self.me.vm,
             incarnation=self.me.incarnation,
--- a/libs/membership/src/kumquatmux_membership/stamps.py
+++ b/libs/membership/src/kumquatmux_membership/stamps.py
@@ -4,7 +4,7 @@
 
 from kumquatmux_membership.events import Heartbeat
 
-STAMP_STEP_SECONDS = 1e-6
+TIMESTAMP_STEP_SECONDS = 1e-6
 STAMP_AHEAD_SECONDS = 1e-3
 
 
