--- a/libs/membership/src/kumquatmux_membership/stamps.py
+++ b/libs/membership/src/kumquatmux_membership/stamps.py
@@ -5,7 +5,7 @@
 from kumquatmux_membership.events import Heartbeat
 
 TIMESTAMP_STEP_SECONDS = 1e-6
-STAMP_AHEAD_SECONDS = 1e-3
+MAX_TIMESTAMP_LEAD_SECONDS = 1e-3
 
 
 def echoes_us(message: Heartbeat, incarnation: int, now: float) -> bool:
@@ -18,4 +18,4 @@
     """
     if message.echoed_incarnation != incarnation:
         return False
-    return 0 < message.echoed_timestamp <= now + STAMP_AHEAD_SECONDS
+    return 0 < message.echoed_timestamp <= now + MAX_TIMESTAMP_LEAD_SECONDS
