Rename echoes_us to echoes_own_timestamp

Says what is echoed.

Rename: libs/membership/src/kumquatmux_membership/stamps.py echoes_us echoes_own_timestamp

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -48,7 +48,7 @@
 )
 from kumquatmux_membership.settings import LeaseSettings
 from kumquatmux_membership.sharing import Sharing
-from kumquatmux_membership.stamps import echoes_us
+from kumquatmux_membership.stamps import echoes_own_timestamp
 from kumquatmux_membership.told import ToldTable
 
 HOUSEKEEPING_SECONDS = 1.0
@@ -200,7 +200,7 @@
         table = self._current_table(message.sender, message.incarnation)
         if table is None:
             return
-        if not echoes_us(message, self.me.incarnation, now):
+        if not echoes_own_timestamp(message, self.me.incarnation, now):
             return
         behind = table.confirm(message)
         if behind and now - table.asked >= self.settings.resend_seconds:
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -38,7 +38,7 @@
 from kumquatmux_membership.probes import Probes
 from kumquatmux_membership.roster import UNKNOWN_INCARNATION, Roster
 from kumquatmux_membership.settings import MembershipSettings
-from kumquatmux_membership.stamps import TIMESTAMP_STEP_SECONDS, echoes_us
+from kumquatmux_membership.stamps import TIMESTAMP_STEP_SECONDS, echoes_own_timestamp
 from kumquatmux_membership.view import View
 
 INCARNATION_STEP_BITS = 20
@@ -182,7 +182,7 @@
         peer.heard = message.timestamp
         peer.heard_at = now
         peer.introduced = True
-        current = echoes_us(message, self.me.incarnation, now)
+        current = echoes_own_timestamp(message, self.me.incarnation, now)
         if current and message.echoed_timestamp >= self.awake_since:
             peer.echoed(message.echoed_timestamp)
             self.actions += self.probes.answer(peer)
--- a/libs/membership/src/kumquatmux_membership/stamps.py
+++ b/libs/membership/src/kumquatmux_membership/stamps.py
@@ -8,7 +8,7 @@
 MAX_TIMESTAMP_LEAD_SECONDS = 1e-3
 
 
-def echoes_us(message: Heartbeat, incarnation: int, now: float) -> bool:
+def echoes_own_timestamp(message: Heartbeat, incarnation: int, now: float) -> bool:
     """Whether a heartbeat echoes a stamp that this process may have sent.
 
     Args:
