Rename listed to configured

The settings configure the peer.

Rename: libs/membership/src/kumquatmux_membership/peer.py listed configured

--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -34,7 +34,7 @@
 
     def __init__(self, vm: Vm, now: float, *, listed: bool) -> None:
         self.vm = vm
-        self.listed = listed
+        self.configured = listed
         self.introduced = False
         self.heard = 0.0
         self.heard_at = NEVER
--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -34,11 +34,11 @@
         """Take what the settings name now; return the VMs that are new here."""
         named = {vm.vm: vm for vm in listed if vm.vm != self.me}
         for name, peer in list(self.peers.items()):
-            if peer.listed and name not in named:
+            if peer.configured and name not in named:
                 del self.peers[name]
         added = tuple(vm for vm in named.values() if self.learn(vm, now))
         for name in named:
-            self.peers[name].listed = True
+            self.peers[name].configured = True
         return added
 
     def learn(self, vm: Vm, now: float) -> bool:
@@ -53,7 +53,7 @@
     def forget(self, now: float, settings: MembershipSettings) -> None:
         """Drop learned VMs that left or have been silent for long."""
         for name, peer in list(self.peers.items()):
-            if peer.listed or peer.live:
+            if peer.configured or peer.live:
                 continue
             keep = settings.forget_seconds
             if peer.left:
