Rename listed to configured

The settings configure the peer.

Rename: libs/membership/src/kumquatmux_membership/peer.py listed configured

--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -32,9 +32,9 @@
         since: When it last entered or left the view.
     """
 
-    def __init__(self, vm: Vm, now: float, *, listed: bool) -> None:
+    def __init__(self, vm: Vm, now: float, *, configured: bool) -> None:
         self.vm = vm
-        self.configured = listed
+        self.configured = configured
         self.introduced = False
         self.heard = 0.0
         self.heard_at = NEVER
--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -26,7 +26,7 @@
     def __init__(self, me: VmId, listed: tuple[Vm, ...]) -> None:
         self.me = me
         self.peers: dict[VmId, Peer] = {
-            vm.vm: Peer(vm, NEVER, listed=True) for vm in listed if vm.vm != me
+            vm.vm: Peer(vm, NEVER, configured=True) for vm in listed if vm.vm != me
         }
         self.latest: tuple[Vm, ...] | None = None
 
@@ -46,7 +46,7 @@
         if vm.vm in self.peers or vm.vm == self.me:
             return False
         unknown = vm._replace(incarnation=UNKNOWN_INCARNATION)
-        self.peers[vm.vm] = Peer(unknown, now, listed=False)
+        self.peers[vm.vm] = Peer(unknown, now, configured=False)
         decisions.log("peer-learned", vm=vm.vm, zone=vm.zone)
         return True
 
