Rename introduced to heartbeat_received

Says what has happened.

Rename: libs/membership/src/kumquatmux_membership/peer.py introduced heartbeat_received

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -181,7 +181,7 @@
         self.touched.add(message.sender)
         peer.heard = message.timestamp
         peer.heard_at = now
-        peer.introduced = True
+        peer.heartbeat_received = True
         current = echoes_own_timestamp(message, self.me.incarnation, now)
         if current and message.echoed_timestamp >= self.awake_since:
             peer.echoed(message.echoed_timestamp)
@@ -296,7 +296,7 @@
             if silent and quiet and not peer.live and self.suspended_until is None:
                 continue
             self._send_heartbeat(peer, now)
-            if not peer.introduced:
+            if not peer.heartbeat_received:
                 self._send(peer.vm.vm, self._make_hello(answer=False))
 
     def _send_heartbeat(self, peer: Peer, now: float) -> None:
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -35,7 +35,7 @@
     def __init__(self, vm: Vm, now: float, *, configured: bool) -> None:
         self.vm = vm
         self.configured = configured
-        self.introduced = False
+        self.heartbeat_received = False
         self.heard = 0.0
         self.heard_at = NEVER
         self.contact = NEVER
@@ -55,7 +55,7 @@
     def renew_incarnation(self, incarnation: int) -> None:
         """Start anew with a higher incarnation of the VM."""
         self.vm = self.vm._replace(incarnation=incarnation)
-        self.introduced = False
+        self.heartbeat_received = False
         self.heard = 0.0
         self.contact = NEVER
         self.refused = False
