Rename heard to latest_timestamp

It is the peer's latest timestamp.

Rename: libs/membership/src/kumquatmux_membership/peer.py heard latest_timestamp

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -176,10 +176,10 @@
     @_handle_message.register
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
         peer = self._speaker(message.sender, message.incarnation)
-        if peer is None or message.timestamp <= peer.heard:
+        if peer is None or message.timestamp <= peer.latest_timestamp:
             return
         self.touched.add(message.sender)
-        peer.heard = message.timestamp
+        peer.latest_timestamp = message.timestamp
         peer.heard_at = now
         peer.heartbeat_received = True
         current = echoes_own_timestamp(message, self.me.incarnation, now)
@@ -305,7 +305,7 @@
             sender=self.me.vm,
             incarnation=self.me.incarnation,
             timestamp=self.latest_stamp,
-            echoed_timestamp=peer.heard,
+            echoed_timestamp=peer.latest_timestamp,
             settings_revision=self.revision,
             digest=self.digest,
             lease_table_version=self.leases,
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -36,7 +36,7 @@
         self.vm = vm
         self.configured = configured
         self.heartbeat_received = False
-        self.heard = 0.0
+        self.latest_timestamp = 0.0
         self.heard_at = NEVER
         self.contact = NEVER
         self.sent = NEVER
@@ -56,7 +56,7 @@
         """Start anew with a higher incarnation of the VM."""
         self.vm = self.vm._replace(incarnation=incarnation)
         self.heartbeat_received = False
-        self.heard = 0.0
+        self.latest_timestamp = 0.0
         self.contact = NEVER
         self.refused = False
         self.left = False
