Rename heard_at to heartbeat_received_at

When the heartbeat was received.

Rename: libs/membership/src/kumquatmux_membership/peer.py heard_at heartbeat_received_at

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -180,7 +180,7 @@
             return
         self.touched.add(message.sender)
         peer.latest_timestamp = message.timestamp
-        peer.heard_at = now
+        peer.heartbeat_received_at = now
         peer.heartbeat_received = True
         current = echoes_own_timestamp(message, self.me.incarnation, now)
         if current and message.echoed_timestamp >= self.awake_since:
@@ -292,7 +292,7 @@
         quiet = self.round % self.settings.quiet_rounds
         self.round += 1
         for peer in self._heartbeat_targets(now):
-            silent = now - peer.heard_at > self.settings.remove_seconds
+            silent = now - peer.heartbeat_received_at > self.settings.remove_seconds
             if silent and quiet and not peer.live and self.suspended_until is None:
                 continue
             self._send_heartbeat(peer, now)
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -37,7 +37,7 @@
         self.configured = configured
         self.heartbeat_received = False
         self.latest_timestamp = 0.0
-        self.heard_at = NEVER
+        self.heartbeat_received_at = NEVER
         self.contact = NEVER
         self.sent = NEVER
         self.refused = False
