Rename contact to last_echo

It is our latest echoed timestamp.

Rename: libs/membership/src/kumquatmux_membership/peer.py contact last_echo

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -131,7 +131,7 @@
             return
         self.awaited = {peer.vm.vm for peer in self.peers.values() if peer.live}
         for peer in self.peers.values():
-            peer.contact = NEVER
+            peer.last_echo = NEVER
             peer.extended_until = NEVER
             peer.probe = 0
         decisions.log("view-suspended", vm=self.me.vm, gap=round(gap, 3))
@@ -186,7 +186,7 @@
         if current and message.echoed_timestamp >= self.awake_since:
             peer.echoed(message.echoed_timestamp)
             self.actions += self.probes.answer(peer)
-        unconfirmed = now - peer.contact > self.settings.remove_seconds
+        unconfirmed = now - peer.last_echo > self.settings.remove_seconds
         if unconfirmed and now - peer.sent >= REPLY_GAP_SECONDS:
             self._send_heartbeat(peer, now)
         peer.refused = message.excludes_receiver and not self.leaving
@@ -243,7 +243,7 @@
         if peer.probe != message.number:
             return
         keep = self.settings.remove_seconds + self.settings.probe_grace_seconds
-        peer.extended_until = peer.contact + keep
+        peer.extended_until = peer.last_echo + keep
         peer.vouched = now
 
     def _speaker(self, sender: VmId, incarnation: int) -> Peer | None:
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -38,7 +38,7 @@
         self.heartbeat_received = False
         self.latest_timestamp = 0.0
         self.heartbeat_received_at = NEVER
-        self.contact = NEVER
+        self.last_echo = NEVER
         self.sent = NEVER
         self.refused = False
         self.live = False
@@ -57,7 +57,7 @@
         self.vm = self.vm._replace(incarnation=incarnation)
         self.heartbeat_received = False
         self.latest_timestamp = 0.0
-        self.contact = NEVER
+        self.last_echo = NEVER
         self.refused = False
         self.left = False
         self.extended_until = NEVER
@@ -65,15 +65,15 @@
 
     def echoed(self, stamp: float) -> None:
         """Note that it echoed one of our stamps."""
-        if stamp > self.contact:
-            self.contact = stamp
+        if stamp > self.last_echo:
+            self.last_echo = stamp
             self.probe = 0
 
     def reached(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it and we hear each other, judged from our side alone."""
         if now < self.hold_until:
             return False
-        fresh = now - self.contact <= settings.remove_seconds
+        fresh = now - self.last_echo <= settings.remove_seconds
         return fresh or now < self.extended_until
 
     def usable(self, now: float, settings: MembershipSettings) -> bool:
@@ -82,7 +82,7 @@
 
     def suspected(self, now: float, settings: MembershipSettings) -> bool:
         """Whether its last echo is old enough to have others probe it."""
-        return self.live and now - self.contact > settings.suspect_seconds
+        return self.live and now - self.last_echo > settings.suspect_seconds
 
     def lose(self, now: float, settings: MembershipSettings) -> None:
         """Note a loss; the hold before its return doubles with each."""
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -43,7 +43,7 @@
         done = [
             probe
             for probe in self.waiting
-            if probe.request.target == peer.vm.vm and peer.contact >= probe.stamp
+            if probe.request.target == peer.vm.vm and peer.last_echo >= probe.stamp
         ]
         self.waiting = [probe for probe in self.waiting if probe not in done]
         return [self._answer(probe.request, peer) for probe in done]
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -177,7 +177,7 @@
             self._gossip_own_status(MemberStatus.ALIVE)
 
     def _excludes(self, peer: Peer, now: float) -> bool:
-        judged = peer.vm.vm in self.neighbours and peer.contact != NEVER
+        judged = peer.vm.vm in self.neighbours and peer.last_echo != NEVER
         return judged and super()._excludes(peer, now)
 
     def _on_peer_view_change(self, peer: Peer, now: float) -> None:
@@ -191,8 +191,8 @@
             return
         if not self.rumours.says_alive(peer.vm.vm):
             return
-        recent = max(peer.vouched, peer.contact, self.awake_since)
-        if peer.contact == NEVER:
+        recent = max(peer.vouched, peer.last_echo, self.awake_since)
+        if peer.last_echo == NEVER:
             recent = max(recent, peer.since)
         if not peer.left and now - recent <= self.settings.remove_seconds:
             return
@@ -241,5 +241,5 @@
             peer.hold_until = NEVER
             peer.refused = False
             if peer.live:
-                peer.contact = max(peer.contact, now)
+                peer.last_echo = max(peer.last_echo, now)
         self.neighbours = chosen
