Rename sent to heartbeat_sent_at

When the heartbeat was sent.

Rename: libs/membership/src/kumquatmux_membership/peer.py sent heartbeat_sent_at

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -187,7 +187,7 @@
             peer.echoed(message.echoed_timestamp)
             self.actions += self.probes.answer(peer)
         unconfirmed = now - peer.last_echo > self.settings.remove_seconds
-        if unconfirmed and now - peer.sent >= REPLY_GAP_SECONDS:
+        if unconfirmed and now - peer.heartbeat_sent_at >= REPLY_GAP_SECONDS:
             self._send_heartbeat(peer, now)
         peer.refused = message.excludes_receiver and not self.leaving
         if message.leaving:
@@ -315,7 +315,7 @@
             updates=self._updates_for(peer),
             gossip_digest=self._gossip_digest(),
         )
-        peer.sent = now
+        peer.heartbeat_sent_at = now
         self._send(peer.vm.vm, message)
 
     def _make_hello(self, *, answer: bool) -> Hello:
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -39,7 +39,7 @@
         self.latest_timestamp = 0.0
         self.heartbeat_received_at = NEVER
         self.last_echo = NEVER
-        self.sent = NEVER
+        self.heartbeat_sent_at = NEVER
         self.refused = False
         self.live = False
         self.left = False
