Rename refused to excludes_us

The peer excludes this VM from its view.

Rename: libs/membership/src/kumquatmux_membership/peer.py refused excludes_us

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -189,7 +189,7 @@
         unconfirmed = now - peer.last_echo > self.settings.remove_seconds
         if unconfirmed and now - peer.heartbeat_sent_at >= REPLY_GAP_SECONDS:
             self._send_heartbeat(peer, now)
-        peer.refused = message.excludes_receiver and not self.leaving
+        peer.excludes_us = message.excludes_receiver and not self.leaving
         if message.leaving:
             self._mark_left(peer, now)
         if message.settings_revision > self.revision:
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -40,7 +40,7 @@
         self.heartbeat_received_at = NEVER
         self.last_echo = NEVER
         self.heartbeat_sent_at = NEVER
-        self.refused = False
+        self.excludes_us = False
         self.live = False
         self.left = False
         self.left_at = NEVER
@@ -58,7 +58,7 @@
         self.heartbeat_received = False
         self.latest_timestamp = 0.0
         self.last_echo = NEVER
-        self.refused = False
+        self.excludes_us = False
         self.left = False
         self.extended_until = NEVER
         self.probe = 0
@@ -78,7 +78,7 @@
 
     def usable(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it belongs in our view."""
-        return not (self.left or self.refused) and self.reached(now, settings)
+        return not (self.left or self.excludes_us) and self.reached(now, settings)
 
     def suspected(self, now: float, settings: MembershipSettings) -> bool:
         """Whether its last echo is old enough to have others probe it."""
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -187,7 +187,7 @@
 
     def _gossip_loss(self, peer: Peer, now: float) -> None:
         """Spread the loss of a silent neighbour unless others reach it."""
-        if peer.live or peer.refused or self.leaving:
+        if peer.live or peer.excludes_us or self.leaving:
             return
         if not self.rumours.says_alive(peer.vm.vm):
             return
@@ -239,7 +239,7 @@
         for vm in sorted(chosen - self.neighbours):
             peer = self.peers[vm]
             peer.hold_until = NEVER
-            peer.refused = False
+            peer.excludes_us = False
             if peer.live:
                 peer.last_echo = max(peer.last_echo, now)
         self.neighbours = chosen
