--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -262,7 +262,7 @@
         if incarnation <= peer.vm.incarnation:
             return
         known_before = peer.vm.incarnation != UNKNOWN_INCARNATION
-        if peer.live and known_before:
+        if peer.in_view and known_before:
             self.view.lose(peer)
         self.view.stale = True
         self.touched.add(peer.vm.vm)
@@ -293,7 +293,7 @@
         self.round += 1
         for peer in self._heartbeat_targets(now):
             silent = now - peer.heartbeat_received_at > self.settings.remove_seconds
-            if silent and quiet and not peer.live and self.suspended_until is None:
+            if silent and quiet and not peer.in_view and self.suspended_until is None:
                 continue
             self._send_heartbeat(peer, now)
             if not peer.heartbeat_received:
@@ -365,14 +365,14 @@
 
     def _update_peer(self, peer: Peer, now: float) -> None:
         usable = self._belongs_in_view(peer, now)
-        if usable == peer.live:
+        if usable == peer.in_view:
             return
         if not usable:
             self.view.lose(peer)
             if not peer.left and peer.vm.vm in self._monitored_peers():
                 peer.lose(now, self.settings)
         self.view.stale = True
-        peer.live = usable
+        peer.in_view = usable
         peer.since = now
         self._on_peer_view_change(peer, now)
 
@@ -390,7 +390,7 @@
 
     def _excludes(self, peer: Peer, now: float) -> bool:
         """Whether we do not use a peer; a suspended view refuses nobody in it."""
-        if self.suspended_until is not None and peer.live:
+        if self.suspended_until is not None and peer.in_view:
             return False
         return not peer.reached(now, self.settings)
 
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -41,7 +41,7 @@
         self.last_echo = NEVER
         self.heartbeat_sent_at = NEVER
         self.excludes_us = False
-        self.live = False
+        self.in_view = False
         self.left = False
         self.left_at = NEVER
         self.extended_until = NEVER
@@ -82,7 +82,7 @@
 
     def suspected(self, now: float, settings: MembershipSettings) -> bool:
         """Whether its last echo is old enough to have others probe it."""
-        return self.live and now - self.last_echo > settings.suspect_seconds
+        return self.in_view and now - self.last_echo > settings.suspect_seconds
 
     def lose(self, now: float, settings: MembershipSettings) -> None:
         """Note a loss; the hold before its return doubles with each."""
--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -53,7 +53,7 @@
     def forget(self, now: float, settings: MembershipSettings) -> None:
         """Drop learned VMs that left or have been silent for long."""
         for name, peer in list(self.peers.items()):
-            if peer.configured or peer.live:
+            if peer.configured or peer.in_view:
                 continue
             keep = settings.forget_seconds
             if peer.left:
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -99,7 +99,7 @@
         away = [
             peer
             for peer in self.peers.values()
-            if not peer.live and not peer.left and peer.vm.vm not in self.neighbours
+            if not peer.in_view and not peer.left and peer.vm.vm not in self.neighbours
         ]
         if away:
             near.append(self.random.choice(away))
@@ -107,7 +107,7 @@
 
     def _check_neighbour(self, peer: Peer, now: float) -> None:
         """Have a silent neighbour probed until it is back or rumoured lost."""
-        if peer.live or peer.left:
+        if peer.in_view or peer.left:
             return
         if now - peer.probe_at > self.settings.suspect_seconds:
             self._request_probes(peer, now)
@@ -187,7 +187,7 @@
 
     def _gossip_loss(self, peer: Peer, now: float) -> None:
         """Spread the loss of a silent neighbour unless others reach it."""
-        if peer.live or peer.excludes_us or self.leaving:
+        if peer.in_view or peer.excludes_us or self.leaving:
             return
         if not self.rumours.says_alive(peer.vm.vm):
             return
@@ -240,6 +240,6 @@
             peer = self.peers[vm]
             peer.hold_until = NEVER
             peer.excludes_us = False
-            if peer.live:
+            if peer.in_view:
                 peer.last_echo = max(peer.last_echo, now)
         self.neighbours = chosen
