--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -132,7 +132,7 @@
         self.awaited = {peer.vm.vm for peer in self.peers.values() if peer.live}
         for peer in self.peers.values():
             peer.last_echo = NEVER
-            peer.extended_until = NEVER
+            peer.probe_extension_until = NEVER
             peer.probe = 0
         decisions.log("view-suspended", vm=self.me.vm, gap=round(gap, 3))
         self.actions.append(ViewSuspended(gap))
@@ -243,7 +243,7 @@
         if peer.probe != message.number:
             return
         keep = self.settings.remove_seconds + self.settings.probe_grace_seconds
-        peer.extended_until = peer.last_echo + keep
+        peer.probe_extension_until = peer.last_echo + keep
         peer.vouched = now
 
     def _speaker(self, sender: VmId, incarnation: int) -> Peer | None:
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -44,7 +44,7 @@
         self.in_view = False
         self.left = False
         self.left_at = NEVER
-        self.extended_until = NEVER
+        self.probe_extension_until = NEVER
         self.probe = 0
         self.vouched = NEVER
         self.probe_at = NEVER
@@ -60,7 +60,7 @@
         self.last_echo = NEVER
         self.excludes_us = False
         self.left = False
-        self.extended_until = NEVER
+        self.probe_extension_until = NEVER
         self.probe = 0
 
     def echoed(self, stamp: float) -> None:
@@ -74,7 +74,7 @@
         if now < self.hold_until:
             return False
         fresh = now - self.last_echo <= settings.remove_seconds
-        return fresh or now < self.extended_until
+        return fresh or now < self.probe_extension_until
 
     def usable(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it belongs in our view."""
