--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -133,7 +133,7 @@
         for peer in self.peers.values():
             peer.last_echo = NEVER
             peer.probe_extension_until = NEVER
-            peer.probe = 0
+            peer.probe_id = 0
         decisions.log("view-suspended", vm=self.me.vm, gap=round(gap, 3))
         self.actions.append(ViewSuspended(gap))
 
@@ -147,7 +147,7 @@
             self._heartbeat_round(now)
         for name in self._monitored_peers():
             peer = self.peers[name]
-            if peer.suspected(now, self.settings) and not peer.probe:
+            if peer.suspected(now, self.settings) and not peer.probe_id:
                 self._request_probes(peer, now)
         self.probes.forget(now)
 
@@ -240,7 +240,7 @@
         if peer is None or message.incarnation < peer.vm.incarnation:
             return
         self._update_incarnation(peer, message.incarnation)
-        if peer.probe != message.number:
+        if peer.probe_id != message.number:
             return
         keep = self.settings.remove_seconds + self.settings.probe_grace_seconds
         peer.probe_extension_until = peer.last_echo + keep
@@ -329,7 +329,7 @@
             if peer is not target and peer.usable(now, self.settings)
         ]
         self.probe_number += 1
-        target.probe = self.probe_number
+        target.probe_id = self.probe_number
         target.probe_at = now
         request = ProbeRequest(self.me.vm, target.vm.vm, self.probe_number)
         count = min(self.settings.probe_helpers, len(helpers))
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -45,7 +45,7 @@
         self.left = False
         self.left_at = NEVER
         self.probe_extension_until = NEVER
-        self.probe = 0
+        self.probe_id = 0
         self.vouched = NEVER
         self.probe_at = NEVER
         self.hold_until = NEVER
@@ -61,13 +61,13 @@
         self.excludes_us = False
         self.left = False
         self.probe_extension_until = NEVER
-        self.probe = 0
+        self.probe_id = 0
 
     def echoed(self, stamp: float) -> None:
         """Note that it echoed one of our stamps."""
         if stamp > self.last_echo:
             self.last_echo = stamp
-            self.probe = 0
+            self.probe_id = 0
 
     def reached(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it and we hear each other, judged from our side alone."""
