Rename vouched to probe_confirmed_at

When a probe by another VM succeeded.

Rename: libs/membership/src/kumquatmux_membership/peer.py vouched probe_confirmed_at

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -244,7 +244,7 @@
             return
         keep = self.settings.remove_seconds + self.settings.probe_grace_seconds
         peer.probe_extension_until = peer.last_echo + keep
-        peer.vouched = now
+        peer.probe_confirmed_at = now
 
     def _speaker(self, sender: VmId, incarnation: int) -> Peer | None:
         """Return the peer that speaks, or None for one unknown or superseded."""
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -46,7 +46,7 @@
         self.left_at = NEVER
         self.probe_extension_until = NEVER
         self.probe_id = 0
-        self.vouched = NEVER
+        self.probe_confirmed_at = NEVER
         self.probe_at = NEVER
         self.hold_until = NEVER
         self.losses = 0
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -191,7 +191,7 @@
             return
         if not self.rumours.says_alive(peer.vm.vm):
             return
-        recent = max(peer.vouched, peer.last_echo, self.awake_since)
+        recent = max(peer.probe_confirmed_at, peer.last_echo, self.awake_since)
         if peer.last_echo == NEVER:
             recent = max(recent, peer.since)
         if not peer.left and now - recent <= self.settings.remove_seconds:
