Rename probe_at to probe_requested_at

When probes were requested.

Rename: libs/membership/src/kumquatmux_membership/peer.py probe_at probe_requested_at

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -330,7 +330,7 @@
         ]
         self.probe_number += 1
         target.probe_id = self.probe_number
-        target.probe_at = now
+        target.probe_requested_at = now
         request = ProbeRequest(self.me.vm, target.vm.vm, self.probe_number)
         count = min(self.settings.probe_helpers, len(helpers))
         for helper in self.random.sample(helpers, count):
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -47,7 +47,7 @@
         self.probe_extension_until = NEVER
         self.probe_id = 0
         self.probe_confirmed_at = NEVER
-        self.probe_at = NEVER
+        self.probe_requested_at = NEVER
         self.hold_until = NEVER
         self.losses = 0
         self.since = now
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -109,7 +109,7 @@
         """Have a silent neighbour probed until it is back or rumoured lost."""
         if peer.in_view or peer.left:
             return
-        if now - peer.probe_at > self.settings.suspect_seconds:
+        if now - peer.probe_requested_at > self.settings.suspect_seconds:
             self._request_probes(peer, now)
         self._gossip_loss(peer, now)
 
