--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -48,7 +48,7 @@
         self.probe_id = 0
         self.probe_confirmed_at = NEVER
         self.probe_requested_at = NEVER
-        self.hold_until = NEVER
+        self.hold_down_until = NEVER
         self.losses = 0
         self.since = now
 
@@ -71,7 +71,7 @@
 
     def reached(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it and we hear each other, judged from our side alone."""
-        if now < self.hold_until:
+        if now < self.hold_down_until:
             return False
         fresh = now - self.last_echo <= settings.remove_seconds
         return fresh or now < self.probe_extension_until
@@ -89,5 +89,5 @@
         if now - self.since > settings.stable_seconds:
             self.losses = 0
         hold = settings.hold_seconds * 2**self.losses
-        self.hold_until = now + min(hold, settings.hold_max_seconds)
+        self.hold_down_until = now + min(hold, settings.hold_max_seconds)
         self.losses += 1
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -238,7 +238,7 @@
         chosen = ring_neighbours(self.me, believed, self.settings.fanout)
         for vm in sorted(chosen - self.neighbours):
             peer = self.peers[vm]
-            peer.hold_until = NEVER
+            peer.hold_down_until = NEVER
             peer.excludes_us = False
             if peer.in_view:
                 peer.last_echo = max(peer.last_echo, now)
