--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -49,7 +49,7 @@
         self.probe_confirmed_at = NEVER
         self.probe_requested_at = NEVER
         self.hold_down_until = NEVER
-        self.losses = 0
+        self.loss_count = 0
         self.since = now
 
     def renew_incarnation(self, incarnation: int) -> None:
@@ -87,7 +87,7 @@
     def lose(self, now: float, settings: MembershipSettings) -> None:
         """Note a loss; the hold before its return doubles with each."""
         if now - self.since > settings.stable_seconds:
-            self.losses = 0
-        hold = settings.hold_seconds * 2**self.losses
+            self.loss_count = 0
+        hold = settings.hold_seconds * 2**self.loss_count
         self.hold_down_until = now + min(hold, settings.hold_max_seconds)
-        self.losses += 1
+        self.loss_count += 1
