Rename since to view_changed_at

When the peer entered or left the view.

Rename: libs/membership/src/kumquatmux_membership/peer.py since view_changed_at

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -373,7 +373,7 @@
                 peer.lose(now, self.settings)
         self.view.stale = True
         peer.in_view = usable
-        peer.since = now
+        peer.view_changed_at = now
         self._on_peer_view_change(peer, now)
 
     def _heartbeat_targets(self, now: float) -> list[Peer]:
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -50,7 +50,7 @@
         self.probe_requested_at = NEVER
         self.hold_down_until = NEVER
         self.loss_count = 0
-        self.since = now
+        self.view_changed_at = now
 
     def renew_incarnation(self, incarnation: int) -> None:
         """Start anew with a higher incarnation of the VM."""
@@ -86,7 +86,7 @@
 
     def lose(self, now: float, settings: MembershipSettings) -> None:
         """Note a loss; the hold before its return doubles with each."""
-        if now - self.since > settings.stable_seconds:
+        if now - self.view_changed_at > settings.stable_seconds:
             self.loss_count = 0
         hold = settings.hold_seconds * 2**self.loss_count
         self.hold_down_until = now + min(hold, settings.hold_max_seconds)
--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -58,7 +58,7 @@
             keep = settings.forget_seconds
             if peer.left:
                 keep = settings.left_seconds
-            if now - max(peer.last_echo, peer.since) > keep:
+            if now - max(peer.last_echo, peer.view_changed_at) > keep:
                 del self.peers[name]
 
     def news(self, now: float, settings: MembershipSettings) -> PeersChanged | None:
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -193,7 +193,7 @@
             return
         recent = max(peer.probe_confirmed_at, peer.last_echo, self.awake_since)
         if peer.last_echo == NEVER:
-            recent = max(recent, peer.since)
+            recent = max(recent, peer.view_changed_at)
         if not peer.left and now - recent <= self.settings.remove_seconds:
             return
         before = self.rumours.latest.get(peer.vm.vm)
