--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -63,10 +63,10 @@
         self.probe_extension_until = NEVER
         self.probe_id = 0
 
-    def echoed(self, stamp: float) -> None:
+    def echoed(self, timestamp: float) -> None:
         """Note that it echoed one of our stamps."""
-        if stamp > self.last_echo:
-            self.last_echo = stamp
+        if timestamp > self.last_echo:
+            self.last_echo = timestamp
             self.probe_id = 0
 
     def reached(self, now: float, settings: MembershipSettings) -> bool:
