--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -184,7 +184,7 @@
         peer.heartbeat_received = True
         current = echoes_own_timestamp(message, self.me.incarnation, now)
         if current and message.echoed_timestamp >= self.awake_since:
-            peer.echoed(message.echoed_timestamp)
+            peer.record_echo(message.echoed_timestamp)
             self.actions += self.probes.answer(peer)
         unconfirmed = now - peer.last_echo > self.settings.remove_seconds
         if unconfirmed and now - peer.heartbeat_sent_at >= REPLY_GAP_SECONDS:
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -63,7 +63,7 @@
         self.probe_extension_until = NEVER
         self.probe_id = 0
 
-    def echoed(self, timestamp: float) -> None:
+    def record_echo(self, timestamp: float) -> None:
         """Note that it echoed one of our stamps."""
         if timestamp > self.last_echo:
             self.last_echo = timestamp
