--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -392,7 +392,7 @@
         """Whether we do not use a peer; a suspended view refuses nobody in it."""
         if self.suspended_until is not None and peer.in_view:
             return False
-        return not peer.reached(now, self.settings)
+        return not peer.reachable(now, self.settings)
 
     def _on_peer_view_change(self, peer: Peer, now: float) -> None:
         """Act on a peer that entered or left the view."""
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -69,7 +69,7 @@
             self.last_echo = timestamp
             self.probe_id = 0
 
-    def reached(self, now: float, settings: MembershipSettings) -> bool:
+    def reachable(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it and we hear each other, judged from our side alone."""
         if now < self.hold_down_until:
             return False
@@ -78,7 +78,7 @@
 
     def usable(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it belongs in our view."""
-        return not (self.left or self.excludes_us) and self.reached(now, settings)
+        return not (self.left or self.excludes_us) and self.reachable(now, settings)
 
     def suspected(self, now: float, settings: MembershipSettings) -> bool:
         """Whether its last echo is old enough to have others probe it."""
