--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -370,7 +370,7 @@
         if not usable:
             self.view.lose(peer)
             if not peer.left and peer.vm.vm in self._monitored_peers():
-                peer.lose(now, self.settings)
+                peer.record_loss(now, self.settings)
         self.view.stale = True
         peer.in_view = usable
         peer.view_changed_at = now
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -84,7 +84,7 @@
         """Whether its last echo is old enough to have others probe it."""
         return self.in_view and now - self.last_echo > settings.suspect_seconds
 
-    def lose(self, now: float, settings: MembershipSettings) -> None:
+    def record_loss(self, now: float, settings: MembershipSettings) -> None:
         """Note a loss; the hold before its return doubles with each."""
         if now - self.view_changed_at > settings.stable_seconds:
             self.loss_count = 0
