--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -73,8 +73,8 @@
         """Whether it and we hear each other, judged from our side alone."""
         if now < self.hold_down_until:
             return False
-        fresh = now - self.last_echo <= settings.remove_seconds
-        return fresh or now < self.probe_extension_until
+        echo_recent = now - self.last_echo <= settings.remove_seconds
+        return echo_recent or now < self.probe_extension_until
 
     def usable(self, now: float, settings: MembershipSettings) -> bool:
         """Whether it belongs in our view."""
