--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -20,7 +20,7 @@
     """
 
     request: ProbeRequest
-    stamp: float
+    timestamp: float
 
 
 class Probes:
