--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -34,9 +34,9 @@
         self.me = me
         self.waiting: list[Probe] = []
 
-    def begin(self, request: ProbeRequest, stamp: float) -> None:
+    def begin(self, request: ProbeRequest, timestamp: float) -> None:
         """Note that the target was just sent a stamp."""
-        self.waiting.append(Probe(request, stamp))
+        self.waiting.append(Probe(request, timestamp))
 
     def answer(self, peer: Peer) -> list[SendMessage]:
         """Return answers to those who asked about a peer that has echoed us."""
