Rename Probes to PendingProbes

Holds the probes that are not answered.

Rename: libs/membership/src/kumquatmux_membership/probes.py Probes PendingProbes

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -35,7 +35,7 @@
     ViewSuspended,
 )
 from kumquatmux_membership.peer import NEVER, Peer
-from kumquatmux_membership.probes import Probes
+from kumquatmux_membership.probes import PendingProbes
 from kumquatmux_membership.roster import UNKNOWN_INCARNATION, Roster
 from kumquatmux_membership.settings import MembershipSettings
 from kumquatmux_membership.stamps import TIMESTAMP_STEP_SECONDS, echoes_own_timestamp
@@ -80,7 +80,7 @@
         self.suspended_until: float | None = None
         self.awake_since = NEVER
         self.awaited: set[VmId] = set(self.peers)
-        self.probes = Probes(me.vm)
+        self.probes = PendingProbes(me.vm)
         self.probe_number = 0
         self.view = View()
         self.touched: set[VmId] = set()
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -23,7 +23,7 @@
     timestamp: float
 
 
-class Probes:
+class PendingProbes:
     """The probes that this VM makes for others.
 
     Args:
