--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -32,26 +32,26 @@
 
     def __init__(self, me: VmId) -> None:
         self.me = me
-        self.waiting: list[Probe] = []
+        self.pending: list[Probe] = []
 
     def begin(self, request: ProbeRequest, timestamp: float) -> None:
         """Note that the target was just sent a stamp."""
-        self.waiting.append(Probe(request, timestamp))
+        self.pending.append(Probe(request, timestamp))
 
     def answer(self, peer: Peer) -> list[SendMessage]:
         """Return answers to those who asked about a peer that has echoed us."""
         done = [
             probe
-            for probe in self.waiting
+            for probe in self.pending
             if probe.request.target == peer.vm.vm and peer.last_echo >= probe.stamp
         ]
-        self.waiting = [probe for probe in self.waiting if probe not in done]
+        self.pending = [probe for probe in self.pending if probe not in done]
         return [self._answer(probe.request, peer) for probe in done]
 
     def forget(self, now: float) -> None:
         """Drop probes that nobody waits for any more."""
-        self.waiting = [
-            probe for probe in self.waiting if now - probe.stamp < PROBE_MEMORY_SECONDS
+        self.pending = [
+            probe for probe in self.pending if now - probe.stamp < PROBE_MEMORY_SECONDS
         ]
 
     def _answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
