--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -232,7 +232,7 @@
         if target is None:
             return
         self._send_heartbeat(target, now)
-        self.probes.begin(message, self.latest_stamp)
+        self.probes.add(message, self.latest_stamp)
 
     @_handle_message.register
     def _receive_probe_answer(self, message: ProbeAnswer, now: float) -> None:
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -34,7 +34,7 @@
         self.me = me
         self.pending: list[Probe] = []
 
-    def begin(self, request: ProbeRequest, timestamp: float) -> None:
+    def add(self, request: ProbeRequest, timestamp: float) -> None:
         """Note that the target was just sent a stamp."""
         self.pending.append(Probe(request, timestamp))
 
