Rename answer to take_answers

Removes the answered probes and returns their answers.

Rename: libs/membership/src/kumquatmux_membership/probes.py answer take_answers

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -185,7 +185,7 @@
         current = echoes_own_timestamp(message, self.me.incarnation, now)
         if current and message.echoed_timestamp >= self.awake_since:
             peer.record_echo(message.echoed_timestamp)
-            self.actions += self.probes.answer(peer)
+            self.actions += self.probes.take_answers(peer)
         unconfirmed = now - peer.last_echo > self.settings.remove_seconds
         if unconfirmed and now - peer.heartbeat_sent_at >= REPLY_GAP_SECONDS:
             self._send_heartbeat(peer, now)
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -38,7 +38,7 @@
         """Note that the target was just sent a stamp."""
         self.pending.append(Probe(request, timestamp))
 
-    def answer(self, peer: Peer) -> list[SendMessage]:
+    def take_answers(self, peer: Peer) -> list[SendMessage]:
         """Return answers to those who asked about a peer that has echoed us."""
         done = [
             probe
