Rename done to answered

The probes that are answered.

Rename: libs/membership/src/kumquatmux_membership/probes.py done answered

--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -40,13 +40,13 @@
 
     def take_answers(self, peer: Peer) -> list[SendMessage]:
         """Return answers to those who asked about a peer that has echoed us."""
-        done = [
+        answered = [
             probe
             for probe in self.pending
             if probe.request.target == peer.vm.vm and peer.last_echo >= probe.stamp
         ]
-        self.pending = [probe for probe in self.pending if probe not in done]
-        return [self._answer(probe.request, peer) for probe in done]
+        self.pending = [probe for probe in self.pending if probe not in answered]
+        return [self._answer(probe.request, peer) for probe in answered]
 
     def forget(self, now: float) -> None:
         """Drop probes that nobody waits for any more."""
