--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -149,7 +149,7 @@
             peer = self.peers[name]
             if peer.suspected(now, self.settings) and not peer.probe_id:
                 self._request_probes(peer, now)
-        self.probes.forget(now)
+        self.probes.prune(now)
 
     @_handle_event.register
     def _on_leave(self, event: Leave, now: float) -> None:
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -48,7 +48,7 @@
         self.pending = [probe for probe in self.pending if probe not in answered]
         return [self._answer(probe.request, peer) for probe in answered]
 
-    def forget(self, now: float) -> None:
+    def prune(self, now: float) -> None:
         """Drop probes that nobody waits for any more."""
         self.pending = [
             probe for probe in self.pending if now - probe.stamp < PROBE_MEMORY_SECONDS
