--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -46,7 +46,7 @@
             if probe.request.target == peer.vm.vm and peer.last_echo >= probe.stamp
         ]
         self.pending = [probe for probe in self.pending if probe not in answered]
-        return [self._answer(probe.request, peer) for probe in answered]
+        return [self._make_answer(probe.request, peer) for probe in answered]
 
     def prune(self, now: float) -> None:
         """Drop probes that nobody waits for any more."""
@@ -54,7 +54,7 @@
             probe for probe in self.pending if now - probe.stamp < PROBE_MEMORY_SECONDS
         ]
 
-    def _answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
+    def _make_answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
         incarnation = peer.vm.incarnation
         answer = ProbeAnswer(self.me, request.target, request.probe_id, incarnation)
         return SendMessage(request.sender, answer)
