Rename PROBE_MEMORY_SECONDS to PROBE_RETENTION_SECONDS

Retention is the usual term.

Rename: libs/membership/src/kumquatmux_membership/probes.py PROBE_MEMORY_SECONDS PROBE_RETENTION_SECONDS

--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -8,7 +8,7 @@
 from kumquatmux_membership.events import ProbeAnswer, ProbeRequest, SendMessage
 from kumquatmux_membership.peer import Peer
 
-PROBE_MEMORY_SECONDS = 2.0
+PROBE_RETENTION_SECONDS = 2.0
 
 
 class Probe(NamedTuple):
@@ -51,7 +51,9 @@
     def prune(self, now: float) -> None:
         """Drop probes that nobody waits for any more."""
         self.pending = [
-            probe for probe in self.pending if now - probe.stamp < PROBE_MEMORY_SECONDS
+            probe
+            for probe in self.pending
+            if now - probe.stamp < PROBE_RETENTION_SECONDS
         ]
 
     def _make_answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
