Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/probes.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -30,8 +30,8 @@
         me: This VM.
     """
 
-    def __init__(self, me: VmId) -> None:
-        self.me = me
+    def __init__(self, local_vm: VmId) -> None:
+        self.me = local_vm
         self.pending: list[Probe] = []
 
     def add(self, request: ProbeRequest, timestamp: float) -> None:
