Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/probes.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -31,7 +31,7 @@
     """
 
     def __init__(self, local_vm: VmId) -> None:
-        self.me = local_vm
+        self.local_vm = local_vm
         self.pending: list[Probe] = []
 
     def add(self, request: ProbeRequest, timestamp: float) -> None:
@@ -58,5 +58,7 @@
 
     def _make_answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
         incarnation = peer.vm.incarnation
-        answer = ProbeAnswer(self.me, request.target, request.probe_id, incarnation)
+        answer = ProbeAnswer(
+            self.local_vm, request.target, request.probe_id, incarnation
+        )
         return SendMessage(request.sender, answer)
