Complete renames of message fields

Change: the remaining uses follow; Lease.open and Heartbeat.revision, used in libs/daemons, have their names back.

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -57,7 +57,7 @@
     incarnation: int
     timestamp: float
     echoed_timestamp: float
-    settings_revision: int
+    revision: int
     digest: str
     lease_table_version: int
     leaving: bool = False
@@ -153,7 +153,7 @@
     left: bool
     version: int
     busy: int = -1
-    open_connections: int = -1
+    open: int = -1
     held: bool = True
 
 
@@ -174,7 +174,7 @@
     incarnation: int
     version: int
     is_complete: bool
-    lease_table_version: tuple[Lease, ...]
+    leases: tuple[Lease, ...]
     base_version: int = 0
     ack_requested: bool = False
 
--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -106,4 +106,4 @@
 
 def essence(lease: Lease) -> Lease:
     """Return a lease without its load report, which is not worth telling."""
-    return lease._replace(busy=-1, open_connections=-1)
+    return lease._replace(busy=-1, open=-1)
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -216,7 +216,7 @@
             return
         self.freshness.dirty = True
         base = self.holder.version
-        for lease in message.lease_table_version:
+        for lease in message.leases:
             self._merge_lease(lease, now)
         self.sharing.push(base, now)
         if message.ack_requested:
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -129,7 +129,7 @@
         self.awake_since = now
         if started:
             return
-        self.awaited = {peer.vm.vm for peer in self.peers.values() if peer.live}
+        self.awaited = {peer.vm.vm for peer in self.peers.values() if peer.in_view}
         for peer in self.peers.values():
             peer.last_echo = NEVER
             peer.probe_extension_until = NEVER
@@ -192,8 +192,8 @@
         peer.excludes_us = message.excludes_receiver and not self.leaving
         if message.leaving:
             self._mark_left(peer, now)
-        if message.settings_revision > self.revision:
-            self.actions.append(PeerAhead(peer.vm.vm, message.settings_revision))
+        if message.revision > self.revision:
+            self.actions.append(PeerAhead(peer.vm.vm, message.revision))
         self._process_gossip(peer, message, now)
 
     @_handle_message.register
@@ -306,7 +306,7 @@
             incarnation=self.me.incarnation,
             timestamp=self.latest_stamp,
             echoed_timestamp=peer.latest_timestamp,
-            settings_revision=self.revision,
+            revision=self.revision,
             digest=self.digest,
             lease_table_version=self.leases,
             leaving=self.leaving,
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -43,7 +43,7 @@
         answered = [
             probe
             for probe in self.pending
-            if probe.request.target == peer.vm.vm and peer.last_echo >= probe.stamp
+            if probe.request.target == peer.vm.vm and peer.last_echo >= probe.timestamp
         ]
         self.pending = [probe for probe in self.pending if probe not in answered]
         return [self._make_answer(probe.request, peer) for probe in answered]
@@ -53,7 +53,7 @@
         self.pending = [
             probe
             for probe in self.pending
-            if now - probe.stamp < PROBE_RETENTION_SECONDS
+            if now - probe.timestamp < PROBE_RETENTION_SECONDS
         ]
 
     def _make_answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -59,7 +59,7 @@
             self.leases = {}
         elif update.base_version > self.version:
             return False
-        for lease in update.lease_table_version:
+        for lease in update.leases:
             if lease.held:
                 self.leases[lease.server] = lease
             else:
--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -41,7 +41,7 @@
         if not (due or self.stale or self.lost):
             return None
         self.stale = False
-        view = tuple(sorted([me, *(peer.vm for peer in peers if peer.live)]))
+        view = tuple(sorted([me, *(peer.vm for peer in peers if peer.in_view)]))
         if view == self.latest and not (due or self.lost):
             return None
         self._log_change(view)
--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -60,7 +60,13 @@
 
 def update(version, *leases, base=0, complete=False, incarnation=7, ack=False):
     message = LeaseUpdate(
-        PEER.vm, incarnation, version, complete, leases, base=base, ack=ack
+        PEER.vm,
+        incarnation,
+        version,
+        complete,
+        leases,
+        base_version=base,
+        ack_requested=ack,
     )
     return Received(message)
 
@@ -240,7 +246,7 @@
     for since, incarnation in ((1, 100), (0, 100), (1, 99)):
         request = LeaseRequest(PEER.vm, since, incarnation)
         sent = messages(made.handle(Received(request), START), LeaseUpdate)[0]
-        answers.append((sent.is_complete, len(sent.lease_table_version), sent.version))
+        answers.append((sent.is_complete, len(sent.leases), sent.version))
     assert answers == [(False, 1, 2), (True, 2, 2), (True, 2, 2)]
 
 
