Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/roster.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -23,10 +23,12 @@
         latest: The list as last told.
     """
 
-    def __init__(self, me: VmId, listed: tuple[Vm, ...]) -> None:
-        self.me = me
+    def __init__(self, local_vm: VmId, listed: tuple[Vm, ...]) -> None:
+        self.me = local_vm
         self.peers: dict[VmId, Peer] = {
-            vm.vm: Peer(vm, NEVER, configured=True) for vm in listed if vm.vm != me
+            vm.vm: Peer(vm, NEVER, configured=True)
+            for vm in listed
+            if vm.vm != local_vm
         }
         self.latest: tuple[Vm, ...] | None = None
 
