Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/roster.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -24,7 +24,7 @@
     """
 
     def __init__(self, local_vm: VmId, listed: tuple[Vm, ...]) -> None:
-        self.me = local_vm
+        self.local_vm = local_vm
         self.peers: dict[VmId, Peer] = {
             vm.vm: Peer(vm, NEVER, configured=True)
             for vm in listed
@@ -34,7 +34,7 @@
 
     def replace(self, listed: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
         """Take what the settings name now; return the VMs that are new here."""
-        named = {vm.vm: vm for vm in listed if vm.vm != self.me}
+        named = {vm.vm: vm for vm in listed if vm.vm != self.local_vm}
         for name, peer in list(self.peers.items()):
             if peer.configured and name not in named:
                 del self.peers[name]
@@ -45,7 +45,7 @@
 
     def learn(self, vm: Vm, now: float) -> bool:
         """Add a VM; return whether it is new."""
-        if vm.vm in self.peers or vm.vm == self.me:
+        if vm.vm in self.peers or vm.vm == self.local_vm:
             return False
         unknown = vm._replace(incarnation=UNKNOWN_INCARNATION)
         self.peers[vm.vm] = Peer(unknown, now, configured=False)
