Rename listed to configured

The VMs that the settings configure.

Rename: libs/membership/src/kumquatmux_membership/roster.py listed configured

--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -23,11 +23,11 @@
         latest: The list as last told.
     """
 
-    def __init__(self, local_vm: VmId, listed: tuple[Vm, ...]) -> None:
+    def __init__(self, local_vm: VmId, configured: tuple[Vm, ...]) -> None:
         self.local_vm = local_vm
         self.peers: dict[VmId, Peer] = {
             vm.vm: Peer(vm, NEVER, configured=True)
-            for vm in listed
+            for vm in configured
             if vm.vm != local_vm
         }
         self.latest: tuple[Vm, ...] | None = None
