Rename listed to configured

The VMs that the settings configure.

Rename: libs/membership/src/kumquatmux_membership/roster.py listed configured

--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -32,9 +32,9 @@
         }
         self.latest: tuple[Vm, ...] | None = None
 
-    def replace(self, listed: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
+    def replace(self, configured: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
         """Take what the settings name now; return the VMs that are new here."""
-        named = {vm.vm: vm for vm in listed if vm.vm != self.local_vm}
+        named = {vm.vm: vm for vm in configured if vm.vm != self.local_vm}
         for name, peer in list(self.peers.items()):
             if peer.configured and name not in named:
                 del self.peers[name]
