Rename latest to last_reported

The list as last reported to the caller.

Rename: libs/membership/src/kumquatmux_membership/roster.py latest last_reported

--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -30,7 +30,7 @@
             for vm in configured
             if vm.vm != local_vm
         }
-        self.latest: tuple[Vm, ...] | None = None
+        self.last_reported: tuple[Vm, ...] | None = None
 
     def replace(self, configured: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
         """Take what the settings name now; return the VMs that are new here."""
@@ -72,7 +72,7 @@
                 if not peer.left or now - peer.left_at < settings.left_seconds
             )
         )
-        if listing == self.latest:
+        if listing == self.last_reported:
             return None
-        self.latest = listing
+        self.last_reported = listing
         return PeersChanged(listing)
