Rename named to configured_by_id

Maps the ids of the configured VMs to them.

Rename: libs/membership/src/kumquatmux_membership/roster.py named configured_by_id

--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -34,12 +34,12 @@
 
     def replace(self, configured: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
         """Take what the settings name now; return the VMs that are new here."""
-        named = {vm.vm: vm for vm in configured if vm.vm != self.local_vm}
+        configured_by_id = {vm.vm: vm for vm in configured if vm.vm != self.local_vm}
         for name, peer in list(self.peers.items()):
-            if peer.configured and name not in named:
+            if peer.configured and name not in configured_by_id:
                 del self.peers[name]
-        added = tuple(vm for vm in named.values() if self.learn(vm, now))
-        for name in named:
+        added = tuple(vm for vm in configured_by_id.values() if self.learn(vm, now))
+        for name in configured_by_id:
             self.peers[name].configured = True
         return added
 
