Rename replace to set_configured

Says what is set.

Rename: libs/membership/src/kumquatmux_membership/roster.py replace set_configured

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -162,7 +162,7 @@
     def _on_peers_changed(self, event: PeersChanged, now: float) -> None:
         self.view.stale = True
         self.next_housekeeping = now
-        for vm in self.roster.replace(event.peers, now):
+        for vm in self.roster.set_configured(event.peers, now):
             self._report_new_peer(vm)
 
     @_handle_event.register
--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -32,7 +32,7 @@
         }
         self.last_reported: tuple[Vm, ...] | None = None
 
-    def replace(self, configured: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
+    def set_configured(self, configured: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
         """Take what the settings name now; return the VMs that are new here."""
         configured_by_id = {vm.vm: vm for vm in configured if vm.vm != self.local_vm}
         for name, peer in list(self.peers.items()):
