--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -277,7 +277,7 @@
         decisions.log("peer-leaving", vm=peer.vm.vm)
 
     def _add_peer(self, vm: Vm, now: float) -> Peer:
-        if self.roster.learn(vm, now):
+        if self.roster.add(vm, now):
             self.next_housekeeping = now
             self._report_new_peer(vm)
         return self.peers[vm.vm]
--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -38,12 +38,12 @@
         for name, peer in list(self.peers.items()):
             if peer.configured and name not in configured_by_id:
                 del self.peers[name]
-        added = tuple(vm for vm in configured_by_id.values() if self.learn(vm, now))
+        added = tuple(vm for vm in configured_by_id.values() if self.add(vm, now))
         for name in configured_by_id:
             self.peers[name].configured = True
         return added
 
-    def learn(self, vm: Vm, now: float) -> bool:
+    def add(self, vm: Vm, now: float) -> bool:
         """Add a VM; return whether it is new."""
         if vm.vm in self.peers or vm.vm == self.local_vm:
             return False
