Rename keep to retention_seconds

Retention is the usual term.

Rename: libs/membership/src/kumquatmux_membership/roster.py keep retention_seconds

--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -57,10 +57,10 @@
         for name, peer in list(self.peers.items()):
             if peer.configured or peer.in_view:
                 continue
-            keep = settings.forget_seconds
+            retention_seconds = settings.forget_seconds
             if peer.left:
-                keep = settings.left_seconds
-            if now - max(peer.last_echo, peer.view_changed_at) > keep:
+                retention_seconds = settings.left_seconds
+            if now - max(peer.last_echo, peer.view_changed_at) > retention_seconds:
                 del self.peers[name]
 
     def news(self, now: float, settings: MembershipSettings) -> PeersChanged | None:
