--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -111,7 +111,7 @@
         self._handle_event(event, now)
         if now >= self.next_housekeeping:
             self.next_housekeeping = now + HOUSEKEEPING_SECONDS
-            self.roster.forget(now, self.settings)
+            self.roster.prune(now, self.settings)
             news = self.roster.news(now, self.settings)
             if news is not None:
                 self.actions.append(news)
--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -52,7 +52,7 @@
         decisions.log("peer-learned", vm=vm.vm, zone=vm.zone)
         return True
 
-    def forget(self, now: float, settings: MembershipSettings) -> None:
+    def prune(self, now: float, settings: MembershipSettings) -> None:
         """Drop learned VMs that left or have been silent for long."""
         for name, peer in list(self.peers.items()):
             if peer.configured or peer.in_view:
