Rename news to report_changes

Returns the list if it has changed.

Rename: libs/membership/src/kumquatmux_membership/roster.py news report_changes

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -112,7 +112,7 @@
         if now >= self.next_housekeeping:
             self.next_housekeeping = now + HOUSEKEEPING_SECONDS
             self.roster.prune(now, self.settings)
-            news = self.roster.news(now, self.settings)
+            news = self.roster.report_changes(now, self.settings)
             if news is not None:
                 self.actions.append(news)
         self._update_view(event, now)
--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -63,7 +63,9 @@
             if now - max(peer.last_echo, peer.view_changed_at) > retention_seconds:
                 del self.peers[name]
 
-    def news(self, now: float, settings: MembershipSettings) -> PeersChanged | None:
+    def report_changes(
+        self, now: float, settings: MembershipSettings
+    ) -> PeersChanged | None:
         """Return the list of peers if it is not what it was."""
         listing = tuple(
             sorted(
