--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -67,14 +67,14 @@
         self, now: float, settings: MembershipSettings
     ) -> PeersChanged | None:
         """Return the list of peers if it is not what it was."""
-        listing = tuple(
+        current = tuple(
             sorted(
                 peer.vm._replace(incarnation=UNKNOWN_INCARNATION)
                 for peer in self.peers.values()
                 if not peer.left or now - peer.left_at < settings.left_seconds
             )
         )
-        if listing == self.last_reported:
+        if current == self.last_reported:
             return None
-        self.last_reported = listing
-        return PeersChanged(listing)
+        self.last_reported = current
+        return PeersChanged(current)
