--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -36,7 +36,7 @@
 )
 from kumquatmux_membership.peer import NEVER, Peer
 from kumquatmux_membership.probes import PendingProbes
-from kumquatmux_membership.roster import UNKNOWN_INCARNATION, Roster
+from kumquatmux_membership.roster import UNKNOWN_INCARNATION, PeerList
 from kumquatmux_membership.settings import MembershipSettings
 from kumquatmux_membership.stamps import TIMESTAMP_STEP_SECONDS, echoes_own_timestamp
 from kumquatmux_membership.view import View
@@ -67,7 +67,7 @@
         self.me = me
         self.settings = settings
         self.random = random
-        self.roster = Roster(me.vm, peers)
+        self.roster = PeerList(me.vm, peers)
         self.peers = self.roster.peers
         self.revision = 0
         self.digest = ""
--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -11,7 +11,7 @@
 UNKNOWN_INCARNATION = 0
 
 
-class Roster:
+class PeerList:
     """All peers of one VM, reachable or not.
 
     Args:
