Rename roster to peer_list

Usual term for the list of peers.

Rename: libs/membership/src/kumquatmux_membership/membership.py roster peer_list

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -67,8 +67,8 @@
         self.me = me
         self.settings = settings
         self.random = random
-        self.roster = PeerList(me.vm, peers)
-        self.peers = self.roster.peers
+        self.peer_list = PeerList(me.vm, peers)
+        self.peers = self.peer_list.peers
         self.revision = 0
         self.digest = ""
         self.leases = 0
@@ -111,8 +111,8 @@
         self._handle_event(event, now)
         if now >= self.next_housekeeping:
             self.next_housekeeping = now + HOUSEKEEPING_SECONDS
-            self.roster.prune(now, self.settings)
-            news = self.roster.report_changes(now, self.settings)
+            self.peer_list.prune(now, self.settings)
+            news = self.peer_list.report_changes(now, self.settings)
             if news is not None:
                 self.actions.append(news)
         self._update_view(event, now)
@@ -162,7 +162,7 @@
     def _on_peers_changed(self, event: PeersChanged, now: float) -> None:
         self.view.stale = True
         self.next_housekeeping = now
-        for vm in self.roster.set_configured(event.peers, now):
+        for vm in self.peer_list.set_configured(event.peers, now):
             self._report_new_peer(vm)
 
     @_handle_event.register
@@ -277,7 +277,7 @@
         decisions.log("peer-leaving", vm=peer.vm.vm)
 
     def _add_peer(self, vm: Vm, now: float) -> Peer:
-        if self.roster.add(vm, now):
+        if self.peer_list.add(vm, now):
             self.next_housekeeping = now
             self._report_new_peer(vm)
         return self.peers[vm.vm]
