--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.identity import VmId
 from kumquatmux_membership.events import MemberStatus, MemberUpdate
 
-RUMOURS_PER_HEARTBEAT = 8
+MAX_UPDATES_PER_HEARTBEAT = 8
 SENDS_OF_EACH = 16
 
 
@@ -43,7 +43,7 @@
         if not self.sends:
             return ()
         chosen = nsmallest(
-            RUMOURS_PER_HEARTBEAT, self.sends, key=self.sends.__getitem__
+            MAX_UPDATES_PER_HEARTBEAT, self.sends, key=self.sends.__getitem__
         )
         for vm in chosen:
             self.sends[vm] += 1
