Rename SENDS_OF_EACH to SENDS_PER_UPDATE

Says of what.

Rename: libs/membership/src/kumquatmux_membership/rumours.py SENDS_OF_EACH SENDS_PER_UPDATE

--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -10,7 +10,7 @@
 from kumquatmux_membership.events import MemberStatus, MemberUpdate
 
 MAX_UPDATES_PER_HEARTBEAT = 8
-SENDS_OF_EACH = 16
+SENDS_PER_UPDATE = 16
 
 
 def order(rumour: MemberUpdate) -> tuple[int, int, int]:
@@ -47,7 +47,7 @@
         )
         for vm in chosen:
             self.sends[vm] += 1
-            if self.sends[vm] >= SENDS_OF_EACH:
+            if self.sends[vm] >= SENDS_PER_UPDATE:
                 del self.sends[vm]
         return tuple(self.latest[vm] for vm in chosen)
 
