Rename rumour to update

The usual term in gossip protocols.

Rename: libs/membership/src/kumquatmux_membership/rumours.py rumour update

--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -13,9 +13,9 @@
 SENDS_PER_UPDATE = 16
 
 
-def order(rumour: MemberUpdate) -> tuple[int, int, int]:
+def order(update: MemberUpdate) -> tuple[int, int, int]:
     """Return the order of rumours about one VM; the higher one is the later one."""
-    return rumour.incarnation, rumour.refutations, rumour.status
+    return update.incarnation, update.refutations, update.status
 
 
 class Rumours:
