Rename order to precedence

Returns the key by which one update takes precedence over another.

Rename: libs/membership/src/kumquatmux_membership/rumours.py order precedence

--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -13,7 +13,7 @@
 SENDS_PER_UPDATE = 16
 
 
-def order(update: MemberUpdate) -> tuple[int, int, int]:
+def precedence(update: MemberUpdate) -> tuple[int, int, int]:
     """Return the order of rumours about one VM; the higher one is the later one."""
     return update.incarnation, update.refutations, update.status
 
@@ -29,7 +29,7 @@
     def take(self, rumour: MemberUpdate) -> bool:
         """Take a rumour; return whether it is news."""
         before = self.latest.get(rumour.vm)
-        if before is not None and order(before) >= order(rumour):
+        if before is not None and precedence(before) >= precedence(rumour):
             return False
         if rumour.vm_record is None and before is not None:
             rumour = rumour._replace(vm_record=before.vm_record)
@@ -59,6 +59,6 @@
     def digest(self) -> int:
         """Return 32 bits that are the same on VMs with the same rumours, never 0."""
         if self.digest_cache == 0:
-            lines = sorted(f"{vm} {order(one)}" for vm, one in self.latest.items())
+            lines = sorted(f"{vm} {precedence(one)}" for vm, one in self.latest.items())
             self.digest_cache = xxhash.xxh32_intdigest("\n".join(lines).encode()) or 1
         return self.digest_cache
