Rename Rumours to GossipState

The usual term for what a gossip protocol keeps.

Rename: libs/membership/src/kumquatmux_membership/rumours.py Rumours GossipState

--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -18,7 +18,7 @@
     return update.incarnation, update.refutations, update.status
 
 
-class Rumours:
+class GossipState:
     """The latest rumour about each VM and those still to be passed on."""
 
     def __init__(self) -> None:
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -21,7 +21,7 @@
 )
 from kumquatmux_membership.membership import Membership
 from kumquatmux_membership.peer import NEVER, Peer
-from kumquatmux_membership.rumours import Rumours
+from kumquatmux_membership.rumours import GossipState
 from kumquatmux_membership.settings import MembershipSettings
 
 EAGER_SECONDS = 0.1
@@ -81,7 +81,7 @@
         random: Random,
     ) -> None:
         super().__init__(me, peers, settings, random)
-        self.rumours = Rumours()
+        self.rumours = GossipState()
         self.refutations = 0
         self.neighbours: set[VmId] = set()
         self.ring_key: frozenset[VmId] | None = None
--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -7,7 +7,7 @@
 from kumquatmux_lab.faultruns.membership import FaultRun, make_vms
 from kumquatmux_lab.faultruns.membership_world import NetworkSettings, Tuning, World
 from kumquatmux_membership.events import Leave, MemberStatus, MemberUpdate
-from kumquatmux_membership.rumours import Rumours
+from kumquatmux_membership.rumours import GossipState
 from kumquatmux_membership.sampled import ring_neighbours
 from kumquatmux_membership.settings import MembershipSettings
 
@@ -105,14 +105,14 @@
 def test_the_later_rumour_wins_in_any_order():
     for first, second in zip(ORDERED, ORDERED[1:], strict=False):
         for told in ((first, second), (second, first)):
-            rumours = Rumours()
+            rumours = GossipState()
             news = [rumours.take(one) for one in told]
             assert rumours.latest[VmId("a")] == second
             assert news == [True, told[0] == first]
 
 
 def test_a_rumour_is_passed_on_a_bounded_number_of_times():
-    rumours = Rumours()
+    rumours = GossipState()
     rumours.take(ORDERED[0])
     sent = sum(len(rumours.spread()) for _ in range(100))
     assert sent == 16
