Rename rumour to update

The usual term in gossip protocols.

Rename: libs/membership/src/kumquatmux_membership/rumours.py rumour update

--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -26,15 +26,15 @@
         self.sends: dict[VmId, int] = {}
         self.digest_cache = 0
 
-    def take(self, rumour: MemberUpdate) -> bool:
+    def take(self, update: MemberUpdate) -> bool:
         """Take a rumour; return whether it is news."""
-        before = self.latest.get(rumour.vm)
-        if before is not None and precedence(before) >= precedence(rumour):
+        before = self.latest.get(update.vm)
+        if before is not None and precedence(before) >= precedence(update):
             return False
-        if rumour.vm_record is None and before is not None:
-            rumour = rumour._replace(vm_record=before.vm_record)
-        self.latest[rumour.vm] = rumour
-        self.sends[rumour.vm] = 0
+        if update.vm_record is None and before is not None:
+            update = update._replace(vm_record=before.vm_record)
+        self.latest[update.vm] = update
+        self.sends[update.vm] = 0
         self.digest_cache = 0
         return True
 
