Rename take to merge

Merges an update into the state.

Rename: libs/membership/src/kumquatmux_membership/rumours.py take merge

--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -26,7 +26,7 @@
         self.sends: dict[VmId, int] = {}
         self.digest_cache = 0
 
-    def take(self, update: MemberUpdate) -> bool:
+    def merge(self, update: MemberUpdate) -> bool:
         """Take a rumour; return whether it is news."""
         before = self.latest.get(update.vm)
         if before is not None and precedence(before) >= precedence(update):
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -155,7 +155,7 @@
         if rumour.vm == self.me.vm:
             self._refute_loss(rumour)
             return
-        if not self.rumours.take(rumour):
+        if not self.rumours.merge(rumour):
             return
         self._expedite_next_round(now)
         self.touched.add(rumour.vm)
@@ -203,7 +203,7 @@
             status=MemberStatus.LEFT if peer.left else MemberStatus.LOST,
             refutations=before.refutations if before else 0,
         )
-        if self.rumours.take(rumour):
+        if self.rumours.merge(rumour):
             self._expedite_next_round(now)
 
     def _on_shutdown(self, now: float) -> None:
@@ -216,7 +216,7 @@
     def _gossip_own_status(self, kind: MemberStatus) -> None:
         about = self.me._replace(incarnation=0)
         me = self.me
-        self.rumours.take(
+        self.rumours.merge(
             MemberUpdate(me.vm, me.incarnation, kind, self.refutations, about)
         )
 
--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -106,13 +106,13 @@
     for first, second in zip(ORDERED, ORDERED[1:], strict=False):
         for told in ((first, second), (second, first)):
             rumours = GossipState()
-            news = [rumours.take(one) for one in told]
+            news = [rumours.merge(one) for one in told]
             assert rumours.latest[VmId("a")] == second
             assert news == [True, told[0] == first]
 
 
 def test_a_rumour_is_passed_on_a_bounded_number_of_times():
     rumours = GossipState()
-    rumours.take(ORDERED[0])
+    rumours.merge(ORDERED[0])
     sent = sum(len(rumours.spread()) for _ in range(100))
     assert sent == 16
