--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -28,11 +28,11 @@
 
     def merge(self, update: MemberUpdate) -> bool:
         """Take a rumour; return whether it is news."""
-        before = self.latest.get(update.vm)
-        if before is not None and precedence(before) >= precedence(update):
+        previous = self.latest.get(update.vm)
+        if previous is not None and precedence(previous) >= precedence(update):
             return False
-        if update.vm_record is None and before is not None:
-            update = update._replace(vm_record=before.vm_record)
+        if update.vm_record is None and previous is not None:
+            update = update._replace(vm_record=previous.vm_record)
         self.latest[update.vm] = update
         self.sends[update.vm] = 0
         self.digest_cache = 0
