--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self.latest: dict[VmId, MemberUpdate] = {}
         self.sends: dict[VmId, int] = {}
-        self.digest_cache = 0
+        self.cached_digest = 0
 
     def merge(self, update: MemberUpdate) -> bool:
         """Take a rumour; return whether it is news."""
@@ -35,7 +35,7 @@
             update = update._replace(vm_record=previous.vm_record)
         self.latest[update.vm] = update
         self.sends[update.vm] = 0
-        self.digest_cache = 0
+        self.cached_digest = 0
         return True
 
     def spread(self) -> tuple[MemberUpdate, ...]:
@@ -58,7 +58,7 @@
 
     def digest(self) -> int:
         """Return 32 bits that are the same on VMs with the same rumours, never 0."""
-        if self.digest_cache == 0:
+        if self.cached_digest == 0:
             lines = sorted(f"{vm} {precedence(one)}" for vm, one in self.latest.items())
-            self.digest_cache = xxhash.xxh32_intdigest("\n".join(lines).encode()) or 1
-        return self.digest_cache
+            self.cached_digest = xxhash.xxh32_intdigest("\n".join(lines).encode()) or 1
+        return self.cached_digest
