--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -38,7 +38,7 @@
         self.cached_digest = 0
         return True
 
-    def spread(self) -> tuple[MemberUpdate, ...]:
+    def next_updates(self) -> tuple[MemberUpdate, ...]:
         """Return the rumours sent least often so far, counting them as sent."""
         if not self.sends:
             return ()
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -122,7 +122,7 @@
         return not peer.left and self.rumours.says_alive(peer.vm.vm)
 
     def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
-        spread = self.rumours.spread()
+        spread = self.rumours.next_updates()
         about = self.rumours.latest.get(peer.vm.vm)
         if about is None or about.status == MemberStatus.ALIVE or about in spread:
             return spread
--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -114,5 +114,5 @@
 def test_a_rumour_is_passed_on_a_bounded_number_of_times():
     rumours = GossipState()
     rumours.merge(ORDERED[0])
-    sent = sum(len(rumours.spread()) for _ in range(100))
+    sent = sum(len(rumours.next_updates()) for _ in range(100))
     assert sent == 16
