--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -42,14 +42,14 @@
         """Return the rumours sent least often so far, counting them as sent."""
         if not self.sends:
             return ()
-        chosen = nsmallest(
+        selected = nsmallest(
             MAX_UPDATES_PER_HEARTBEAT, self.sends, key=self.sends.__getitem__
         )
-        for vm in chosen:
+        for vm in selected:
             self.sends[vm] += 1
             if self.sends[vm] >= SENDS_PER_UPDATE:
                 del self.sends[vm]
-        return tuple(self.latest[vm] for vm in chosen)
+        return tuple(self.latest[vm] for vm in selected)
 
     def says_alive(self, vm: VmId) -> bool:
         """Whether no rumour says that a VM was lost or has left."""
