Rename rumour to update

The usual term in gossip protocols.

Rename: libs/membership/src/kumquatmux_membership/rumours.py rumour update

--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -53,8 +53,8 @@
 
     def says_alive(self, vm: VmId) -> bool:
         """Whether no rumour says that a VM was lost or has left."""
-        rumour = self.latest.get(vm)
-        return rumour is None or rumour.status == MemberStatus.ALIVE
+        update = self.latest.get(vm)
+        return update is None or update.status == MemberStatus.ALIVE
 
     def digest(self) -> int:
         """Return 32 bits that are the same on VMs with the same rumours, never 0."""
