Rename says_alive to is_alive

Whether the VM counts as alive.

Rename: libs/membership/src/kumquatmux_membership/rumours.py says_alive is_alive

--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -51,7 +51,7 @@
                 del self.sends[vm]
         return tuple(self.latest[vm] for vm in selected)
 
-    def says_alive(self, vm: VmId) -> bool:
+    def is_alive(self, vm: VmId) -> bool:
         """Whether no rumour says that a VM was lost or has left."""
         update = self.latest.get(vm)
         return update is None or update.status == MemberStatus.ALIVE
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -119,7 +119,7 @@
     def _belongs_in_view(self, peer: Peer, now: float) -> bool:
         if peer.vm.vm in self.neighbours:
             return peer.usable(now, self.settings)
-        return not peer.left and self.rumours.says_alive(peer.vm.vm)
+        return not peer.left and self.rumours.is_alive(peer.vm.vm)
 
     def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
         spread = self.rumours.next_updates()
@@ -189,7 +189,7 @@
         """Spread the loss of a silent neighbour unless others reach it."""
         if peer.in_view or peer.excludes_us or self.leaving:
             return
-        if not self.rumours.says_alive(peer.vm.vm):
+        if not self.rumours.is_alive(peer.vm.vm):
             return
         recent = max(peer.probe_confirmed_at, peer.last_echo, self.awake_since)
         if peer.last_echo == NEVER:
@@ -228,7 +228,7 @@
         believed = [
             peer.vm
             for peer in self.peers.values()
-            if not peer.left and self.rumours.says_alive(peer.vm.vm)
+            if not peer.left and self.rumours.is_alive(peer.vm.vm)
         ]
         key = frozenset(vm.vm for vm in believed)
         if key == self.ring_key:
