Rename one to update

The usual term in gossip protocols.

Rename: libs/membership/src/kumquatmux_membership/rumours.py one update

--- a/libs/membership/src/kumquatmux_membership/rumours.py
+++ b/libs/membership/src/kumquatmux_membership/rumours.py
@@ -59,6 +59,8 @@
     def digest(self) -> int:
         """Return 32 bits that are the same on VMs with the same rumours, never 0."""
         if self.cached_digest == 0:
-            lines = sorted(f"{vm} {precedence(one)}" for vm, one in self.latest.items())
+            lines = sorted(
+                f"{vm} {precedence(update)}" for vm, update in self.latest.items()
+            )
             self.cached_digest = xxhash.xxh32_intdigest("\n".join(lines).encode()) or 1
         return self.cached_digest
