--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -24,7 +24,7 @@
 from kumquatmux_membership.rumours import GossipState
 from kumquatmux_membership.settings import MembershipSettings
 
-EAGER_SECONDS = 0.1
+UPDATE_DELAY_SECONDS = 0.1
 REPLY_AGE_SECONDS = 0.3
 DIFFERENCE_SECONDS = 2.0
 SYNC_SECONDS = 5.0
@@ -222,7 +222,7 @@
 
     def _expedite_next_round(self, now: float) -> None:
         """Pass news on before the next round is due."""
-        self.next_round = min(self.next_round, now + EAGER_SECONDS)
+        self.next_round = min(self.next_round, now + UPDATE_DELAY_SECONDS)
 
     def _update_neighbours(self, now: float) -> None:
         believed = [
