Rename REPLY_AGE_SECONDS to MIN_REPLY_ECHO_AGE_SECONDS

It is the least age of an echo that gets a reply.

Rename: libs/membership/src/kumquatmux_membership/sampled.py REPLY_AGE_SECONDS MIN_REPLY_ECHO_AGE_SECONDS

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -25,7 +25,7 @@
 from kumquatmux_membership.settings import MembershipSettings
 
 UPDATE_DELAY_SECONDS = 0.1
-REPLY_AGE_SECONDS = 0.3
+MIN_REPLY_ECHO_AGE_SECONDS = 0.3
 DIFFERENCE_SECONDS = 2.0
 SYNC_SECONDS = 5.0
 
@@ -135,7 +135,10 @@
         for rumour in message.updates:
             self._process_update(rumour, now)
         watched_only_there = peer.vm.vm not in self.neighbours
-        if watched_only_there and now - message.echoed_timestamp >= REPLY_AGE_SECONDS:
+        if (
+            watched_only_there
+            and now - message.echoed_timestamp >= MIN_REPLY_ECHO_AGE_SECONDS
+        ):
             self._send_heartbeat(peer, now)
         if message.gossip_digest == self.rumours.digest():
             self.differs_since = now
