--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -26,7 +26,7 @@
 
 UPDATE_DELAY_SECONDS = 0.1
 MIN_REPLY_ECHO_AGE_SECONDS = 0.3
-DIFFERENCE_SECONDS = 2.0
+DIGEST_MISMATCH_SECONDS = 2.0
 SYNC_SECONDS = 5.0
 
 
@@ -142,7 +142,9 @@
             self._send_heartbeat(peer, now)
         if message.gossip_digest == self.rumours.digest():
             self.differs_since = now
-        elif now - self.differs_since > DIFFERENCE_SECONDS and now >= self.next_sync:
+        elif (
+            now - self.differs_since > DIGEST_MISMATCH_SECONDS and now >= self.next_sync
+        ):
             self.next_sync = now + SYNC_SECONDS
             everything = tuple(self.rumours.latest.values())
             self._send(peer.vm.vm, Members(self.me.vm, everything))
