--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -27,7 +27,7 @@
 UPDATE_DELAY_SECONDS = 0.1
 MIN_REPLY_ECHO_AGE_SECONDS = 0.3
 DIGEST_MISMATCH_SECONDS = 2.0
-SYNC_SECONDS = 5.0
+SYNC_INTERVAL_SECONDS = 5.0
 
 
 def ring_neighbours(me: Vm, others: Iterable[Vm], fanout: int) -> set[VmId]:
@@ -145,7 +145,7 @@
         elif (
             now - self.differs_since > DIGEST_MISMATCH_SECONDS and now >= self.next_sync
         ):
-            self.next_sync = now + SYNC_SECONDS
+            self.next_sync = now + SYNC_INTERVAL_SECONDS
             everything = tuple(self.rumours.latest.values())
             self._send(peer.vm.vm, Members(self.me.vm, everything))
 
