Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/sampled.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -30,7 +30,7 @@
 SYNC_INTERVAL_SECONDS = 5.0
 
 
-def ring_neighbours(me: Vm, others: Iterable[Vm], fanout: int) -> set[VmId]:
+def ring_neighbours(local_vm: Vm, others: Iterable[Vm], fanout: int) -> set[VmId]:
     """Return the VMs next to one on several rings.
 
     Half of the rings hold its availability zone alone and half hold all VMs. Each gives
@@ -41,14 +41,16 @@
         others: The other VMs.
         fanout: Neighbours wanted, two a ring.
     """
-    everyone = [me, *others]
-    zone = [vm for vm in everyone if vm.zone == me.zone]
+    everyone = [local_vm, *others]
+    zone = [vm for vm in everyone if vm.zone == local_vm.zone]
     rings = max(1, fanout // 2)
     chosen: set[VmId] = set()
     for number in range(rings):
         members = zone if number % 2 == 0 and rings > 1 else everyone
-        chosen |= _ring_successor_and_predecessor(me, members, b"ring-%d" % number)
-    return chosen - {me.vm}
+        chosen |= _ring_successor_and_predecessor(
+            local_vm, members, b"ring-%d" % number
+        )
+    return chosen - {local_vm.vm}
 
 
 def _ring_successor_and_predecessor(
