--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -41,12 +41,12 @@
         others: The other VMs.
         fanout: Neighbours wanted, two a ring.
     """
-    everyone = [local_vm, *others]
-    zone = [vm for vm in everyone if vm.zone == local_vm.zone]
+    all_vms = [local_vm, *others]
+    zone = [vm for vm in all_vms if vm.zone == local_vm.zone]
     rings = max(1, fanout // 2)
     chosen: set[VmId] = set()
     for number in range(rings):
-        members = zone if number % 2 == 0 and rings > 1 else everyone
+        members = zone if number % 2 == 0 and rings > 1 else all_vms
         chosen |= _ring_successor_and_predecessor(
             local_vm, members, b"ring-%d" % number
         )
