Rename chosen to neighbours

They are the neighbours.

Rename: libs/membership/src/kumquatmux_membership/sampled.py chosen neighbours

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -44,13 +44,13 @@
     all_vms = [local_vm, *others]
     zone_vms = [vm for vm in all_vms if vm.zone == local_vm.zone]
     ring_count = max(1, fanout // 2)
-    chosen: set[VmId] = set()
+    neighbours: set[VmId] = set()
     for number in range(ring_count):
         members = zone_vms if number % 2 == 0 and ring_count > 1 else all_vms
-        chosen |= _ring_successor_and_predecessor(
+        neighbours |= _ring_successor_and_predecessor(
             local_vm, members, b"ring-%d" % number
         )
-    return chosen - {local_vm.vm}
+    return neighbours - {local_vm.vm}
 
 
 def _ring_successor_and_predecessor(
