--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -45,10 +45,10 @@
     zone_vms = [vm for vm in all_vms if vm.zone == local_vm.zone]
     ring_count = max(1, fanout // 2)
     neighbours: set[VmId] = set()
-    for number in range(ring_count):
-        members = zone_vms if number % 2 == 0 and ring_count > 1 else all_vms
+    for ring_index in range(ring_count):
+        members = zone_vms if ring_index % 2 == 0 and ring_count > 1 else all_vms
         neighbours |= _ring_successor_and_predecessor(
-            local_vm, members, b"ring-%d" % number
+            local_vm, members, b"ring-%d" % ring_index
         )
     return neighbours - {local_vm.vm}
 
