Rename here to own_position

Position is the usual term on a hash ring.

Rename: libs/membership/src/kumquatmux_membership/sampled.py here own_position

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -56,12 +56,16 @@
 def _ring_successor_and_predecessor(
     me: Vm, members: list[Vm], ring: bytes
 ) -> set[VmId]:
-    here = (weight(ring, me.vm), me.vm)
+    own_position = (weight(ring, me.vm), me.vm)
     places = [(weight(ring, vm.vm), vm.vm) for vm in members if vm.vm != me.vm]
     if not places:
         return set()
-    after = min((place for place in places if place > here), default=min(places))
-    before = max((place for place in places if place < here), default=max(places))
+    after = min(
+        (place for place in places if place > own_position), default=min(places)
+    )
+    before = max(
+        (place for place in places if place < own_position), default=max(places)
+    )
     return {VmId(after[1]), VmId(before[1])}
 
 
