Rename places to positions

Position is the usual term on a hash ring.

Rename: libs/membership/src/kumquatmux_membership/sampled.py places positions

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -57,14 +57,14 @@
     me: Vm, members: list[Vm], ring: bytes
 ) -> set[VmId]:
     own_position = (weight(ring, me.vm), me.vm)
-    places = [(weight(ring, vm.vm), vm.vm) for vm in members if vm.vm != me.vm]
-    if not places:
+    positions = [(weight(ring, vm.vm), vm.vm) for vm in members if vm.vm != me.vm]
+    if not positions:
         return set()
     after = min(
-        (place for place in places if place > own_position), default=min(places)
+        (place for place in positions if place > own_position), default=min(positions)
     )
     before = max(
-        (place for place in places if place < own_position), default=max(places)
+        (place for place in positions if place < own_position), default=max(positions)
     )
     return {VmId(after[1]), VmId(before[1])}
 
