Rename after to successor

The usual term on a hash ring.

Rename: libs/membership/src/kumquatmux_membership/sampled.py after successor

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -60,13 +60,13 @@
     positions = [(weight(ring, vm.vm), vm.vm) for vm in members if vm.vm != me.vm]
     if not positions:
         return set()
-    after = min(
+    successor = min(
         (place for place in positions if place > own_position), default=min(positions)
     )
     before = max(
         (place for place in positions if place < own_position), default=max(positions)
     )
-    return {VmId(after[1]), VmId(before[1])}
+    return {VmId(successor[1]), VmId(before[1])}
 
 
 class SampledMembership(Membership):
