Rename before to predecessor

The usual term on a hash ring.

Rename: libs/membership/src/kumquatmux_membership/sampled.py before predecessor

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -63,10 +63,10 @@
     successor = min(
         (place for place in positions if place > own_position), default=min(positions)
     )
-    before = max(
+    predecessor = max(
         (place for place in positions if place < own_position), default=max(positions)
     )
-    return {VmId(successor[1]), VmId(before[1])}
+    return {VmId(successor[1]), VmId(predecessor[1])}
 
 
 class SampledMembership(Membership):
