Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/sampled.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -81,12 +81,12 @@
 
     def __init__(
         self,
-        me: Vm,
+        local_vm: Vm,
         peers: tuple[Vm, ...],
         settings: MembershipSettings,
         random: Random,
     ) -> None:
-        super().__init__(me, peers, settings, random)
+        super().__init__(local_vm, peers, settings, random)
         self.rumours = GossipState()
         self.refutations = 0
         self.neighbours: set[VmId] = set()
