--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -90,7 +90,7 @@
         self.rumours = GossipState()
         self.refutations = 0
         self.neighbours: set[VmId] = set()
-        self.ring_key: frozenset[VmId] | None = None
+        self.ring_members: frozenset[VmId] | None = None
         self.next_sync = NEVER
         self.differs_since = NEVER
         self._gossip_own_status(MemberStatus.ALIVE)
@@ -242,9 +242,9 @@
             if not peer.left and self.rumours.is_alive(peer.vm.vm)
         ]
         key = frozenset(vm.vm for vm in believed)
-        if key == self.ring_key:
+        if key == self.ring_members:
             return
-        self.ring_key = key
+        self.ring_members = key
         self.touched |= self.neighbours
         chosen = ring_neighbours(self.me, believed, self.settings.fanout)
         for vm in sorted(chosen - self.neighbours):
