Rename differs_since to last_digest_match

When the digests last matched.

Rename: libs/membership/src/kumquatmux_membership/sampled.py differs_since last_digest_match

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -92,7 +92,7 @@
         self.neighbours: set[VmId] = set()
         self.ring_members: frozenset[VmId] | None = None
         self.next_sync = NEVER
-        self.differs_since = NEVER
+        self.last_digest_match = NEVER
         self._gossip_own_status(MemberStatus.ALIVE)
         self._update_neighbours(NEVER)
 
@@ -147,9 +147,10 @@
         ):
             self._send_heartbeat(peer, now)
         if message.gossip_digest == self.rumours.digest():
-            self.differs_since = now
+            self.last_digest_match = now
         elif (
-            now - self.differs_since > DIGEST_MISMATCH_SECONDS and now >= self.next_sync
+            now - self.last_digest_match > DIGEST_MISMATCH_SECONDS
+            and now >= self.next_sync
         ):
             self.next_sync = now + SYNC_INTERVAL_SECONDS
             everything = tuple(self.rumours.latest.values())
