--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -98,9 +98,9 @@
 
     def _heartbeat_targets(self, now: float) -> list[Peer]:
         self._update_neighbours(now)
-        near = [self.peers[vm] for vm in self._monitored_peers()]
+        targets = [self.peers[vm] for vm in self._monitored_peers()]
         if self.suspended_until is None:
-            for peer in near:
+            for peer in targets:
                 self._check_neighbour(peer, now)
         away = [
             peer
@@ -108,8 +108,8 @@
             if not peer.in_view and not peer.left and peer.vm.vm not in self.neighbours
         ]
         if away:
-            near.append(self.random.choice(away))
-        return near
+            targets.append(self.random.choice(away))
+        return targets
 
     def _check_neighbour(self, peer: Peer, now: float) -> None:
         """Have a silent neighbour probed until it is back or rumoured lost."""
