Rename away to unmonitored_lost

Lost peers that are no neighbours.

Rename: libs/membership/src/kumquatmux_membership/sampled.py away unmonitored_lost

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -102,13 +102,13 @@
         if self.suspended_until is None:
             for peer in targets:
                 self._check_neighbour(peer, now)
-        away = [
+        unmonitored_lost = [
             peer
             for peer in self.peers.values()
             if not peer.in_view and not peer.left and peer.vm.vm not in self.neighbours
         ]
-        if away:
-            targets.append(self.random.choice(away))
+        if unmonitored_lost:
+            targets.append(self.random.choice(unmonitored_lost))
         return targets
 
     def _check_neighbour(self, peer: Peer, now: float) -> None:
