--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -128,11 +128,11 @@
         return not peer.left and self.rumours.is_alive(peer.vm.vm)
 
     def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
-        spread = self.rumours.next_updates()
+        updates = self.rumours.next_updates()
         about = self.rumours.latest.get(peer.vm.vm)
-        if about is None or about.status == MemberStatus.ALIVE or about in spread:
-            return spread
-        return (*spread, about._replace(vm_record=None))
+        if about is None or about.status == MemberStatus.ALIVE or about in updates:
+            return updates
+        return (*updates, about._replace(vm_record=None))
 
     def _gossip_digest(self) -> int:
         return self.rumours.digest()
