Rename about to peer_update

The update about the peer.

Rename: libs/membership/src/kumquatmux_membership/sampled.py about peer_update

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -129,10 +129,14 @@
 
     def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
         updates = self.rumours.next_updates()
-        about = self.rumours.latest.get(peer.vm.vm)
-        if about is None or about.status == MemberStatus.ALIVE or about in updates:
+        peer_update = self.rumours.latest.get(peer.vm.vm)
+        if (
+            peer_update is None
+            or peer_update.status == MemberStatus.ALIVE
+            or peer_update in updates
+        ):
             return updates
-        return (*updates, about._replace(vm_record=None))
+        return (*updates, peer_update._replace(vm_record=None))
 
     def _gossip_digest(self) -> int:
         return self.rumours.digest()
