Rename rumour to update

The usual term in gossip protocols.

Rename: libs/membership/src/kumquatmux_membership/sampled.py rumour update

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -142,8 +142,8 @@
         return self.rumours.digest()
 
     def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
-        for rumour in message.updates:
-            self._process_update(rumour, now)
+        for update in message.updates:
+            self._process_update(update, now)
         watched_only_there = peer.vm.vm not in self.neighbours
         if (
             watched_only_there
