Rename rumour to update

The usual term in gossip protocols.

Rename: libs/membership/src/kumquatmux_membership/sampled.py rumour update

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -161,8 +161,8 @@
             self._send(peer.vm.vm, Members(self.me.vm, everything))
 
     def _process_members(self, message: Members, now: float) -> None:
-        for rumour in message.rumours:
-            self._process_update(rumour, now)
+        for update in message.rumours:
+            self._process_update(update, now)
         if not message.answer:
             everything = tuple(self.rumours.latest.values())
             self._send(message.sender, Members(self.me.vm, everything, True))
