Rename watched_only_there to peer_not_neighbour

Says what is tested.

Rename: libs/membership/src/kumquatmux_membership/sampled.py watched_only_there peer_not_neighbour

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -144,9 +144,9 @@
     def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
         for update in message.updates:
             self._process_update(update, now)
-        watched_only_there = peer.vm.vm not in self.neighbours
+        peer_not_neighbour = peer.vm.vm not in self.neighbours
         if (
-            watched_only_there
+            peer_not_neighbour
             and now - message.echoed_timestamp >= MIN_REPLY_ECHO_AGE_SECONDS
         ):
             self._send_heartbeat(peer, now)
