Rename everything to all_updates

They are updates.

Rename: libs/membership/src/kumquatmux_membership/sampled.py everything all_updates

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -157,8 +157,8 @@
             and now >= self.next_sync
         ):
             self.next_sync = now + SYNC_INTERVAL_SECONDS
-            everything = tuple(self.rumours.latest.values())
-            self._send(peer.vm.vm, Members(self.me.vm, everything))
+            all_updates = tuple(self.rumours.latest.values())
+            self._send(peer.vm.vm, Members(self.me.vm, all_updates))
 
     def _process_members(self, message: Members, now: float) -> None:
         for update in message.rumours:
