Rename everything to all_updates

They are updates.

Rename: libs/membership/src/kumquatmux_membership/sampled.py everything all_updates

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -164,8 +164,8 @@
         for update in message.rumours:
             self._process_update(update, now)
         if not message.answer:
-            everything = tuple(self.rumours.latest.values())
-            self._send(message.sender, Members(self.me.vm, everything, True))
+            all_updates = tuple(self.rumours.latest.values())
+            self._send(message.sender, Members(self.me.vm, all_updates, True))
 
     def _process_update(self, rumour: MemberUpdate, now: float) -> None:
         if rumour.vm == self.me.vm:
