Rename rumour to update

The usual term in gossip protocols.

Rename: libs/membership/src/kumquatmux_membership/sampled.py rumour update

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -167,21 +167,21 @@
             all_updates = tuple(self.rumours.latest.values())
             self._send(message.sender, Members(self.me.vm, all_updates, True))
 
-    def _process_update(self, rumour: MemberUpdate, now: float) -> None:
-        if rumour.vm == self.me.vm:
-            self._refute_loss(rumour)
+    def _process_update(self, update: MemberUpdate, now: float) -> None:
+        if update.vm == self.me.vm:
+            self._refute_loss(update)
             return
-        if not self.rumours.merge(rumour):
+        if not self.rumours.merge(update):
             return
         self._expedite_next_round(now)
-        self.touched.add(rumour.vm)
-        peer = self.peers.get(rumour.vm)
-        if peer is None and rumour.vm_record is not None:
-            peer = self._add_peer(rumour.vm_record, now)
+        self.touched.add(update.vm)
+        peer = self.peers.get(update.vm)
+        if peer is None and update.vm_record is not None:
+            peer = self._add_peer(update.vm_record, now)
         if peer is None:
             return
-        self._update_incarnation(peer, rumour.incarnation)
-        if rumour.status == MemberStatus.LEFT:
+        self._update_incarnation(peer, update.incarnation)
+        if update.status == MemberStatus.LEFT:
             self._mark_left(peer, now)
 
     def _refute_loss(self, rumour: MemberUpdate) -> None:
