Rename rumour to update

The usual term in gossip protocols.

Rename: libs/membership/src/kumquatmux_membership/sampled.py rumour update

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -184,11 +184,11 @@
         if update.status == MemberStatus.LEFT:
             self._mark_left(peer, now)
 
-    def _refute_loss(self, rumour: MemberUpdate) -> None:
-        if rumour.status == MemberStatus.ALIVE or self.leaving:
+    def _refute_loss(self, update: MemberUpdate) -> None:
+        if update.status == MemberStatus.ALIVE or self.leaving:
             return
-        if rumour.incarnation == self.me.incarnation:
-            self.refutations = max(self.refutations, rumour.refutations + 1)
+        if update.incarnation == self.me.incarnation:
+            self.refutations = max(self.refutations, update.refutations + 1)
             decisions.log("rumour-refuted", refutations=self.refutations)
             self._gossip_own_status(MemberStatus.ALIVE)
 
