Rename judged to monitored

Says what the peer is.

Rename: libs/membership/src/kumquatmux_membership/sampled.py judged monitored

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -193,8 +193,8 @@
             self._gossip_own_status(MemberStatus.ALIVE)
 
     def _excludes(self, peer: Peer, now: float) -> bool:
-        judged = peer.vm.vm in self.neighbours and peer.last_echo != NEVER
-        return judged and super()._excludes(peer, now)
+        monitored = peer.vm.vm in self.neighbours and peer.last_echo != NEVER
+        return monitored and super()._excludes(peer, now)
 
     def _on_peer_view_change(self, peer: Peer, now: float) -> None:
         if peer.vm.vm in self.neighbours:
