--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -207,10 +207,10 @@
             return
         if not self.rumours.is_alive(peer.vm.vm):
             return
-        recent = max(peer.probe_confirmed_at, peer.last_echo, self.awake_since)
+        last_evidence = max(peer.probe_confirmed_at, peer.last_echo, self.awake_since)
         if peer.last_echo == NEVER:
-            recent = max(recent, peer.view_changed_at)
-        if not peer.left and now - recent <= self.settings.remove_seconds:
+            last_evidence = max(last_evidence, peer.view_changed_at)
+        if not peer.left and now - last_evidence <= self.settings.remove_seconds:
             return
         before = self.rumours.latest.get(peer.vm.vm)
         rumour = MemberUpdate(
