--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -212,12 +212,12 @@
             last_evidence = max(last_evidence, peer.view_changed_at)
         if not peer.left and now - last_evidence <= self.settings.remove_seconds:
             return
-        before = self.rumours.latest.get(peer.vm.vm)
+        previous = self.rumours.latest.get(peer.vm.vm)
         rumour = MemberUpdate(
             vm=peer.vm.vm,
             incarnation=peer.vm.incarnation,
             status=MemberStatus.LEFT if peer.left else MemberStatus.LOST,
-            refutations=before.refutations if before else 0,
+            refutations=previous.refutations if previous else 0,
         )
         if self.rumours.merge(rumour):
             self._expedite_next_round(now)
