Rename rumour to update

The usual term in gossip protocols.

Rename: libs/membership/src/kumquatmux_membership/sampled.py rumour update

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -213,13 +213,13 @@
         if not peer.left and now - last_evidence <= self.settings.remove_seconds:
             return
         previous = self.rumours.latest.get(peer.vm.vm)
-        rumour = MemberUpdate(
+        update = MemberUpdate(
             vm=peer.vm.vm,
             incarnation=peer.vm.incarnation,
             status=MemberStatus.LEFT if peer.left else MemberStatus.LOST,
             refutations=previous.refutations if previous else 0,
         )
-        if self.rumours.merge(rumour):
+        if self.rumours.merge(update):
             self._expedite_next_round(now)
 
     def _on_shutdown(self, now: float) -> None:
