--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -229,11 +229,11 @@
         self.refutations = 0
         self._gossip_own_status(MemberStatus.ALIVE)
 
-    def _gossip_own_status(self, kind: MemberStatus) -> None:
+    def _gossip_own_status(self, status: MemberStatus) -> None:
         about = self.me._replace(incarnation=0)
         me = self.me
         self.rumours.merge(
-            MemberUpdate(me.vm, me.incarnation, kind, self.refutations, about)
+            MemberUpdate(me.vm, me.incarnation, status, self.refutations, about)
         )
 
     def _expedite_next_round(self, now: float) -> None:
