Rename about to vm_record

The record of this VM.

Rename: libs/membership/src/kumquatmux_membership/sampled.py about vm_record

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -230,10 +230,10 @@
         self._gossip_own_status(MemberStatus.ALIVE)
 
     def _gossip_own_status(self, status: MemberStatus) -> None:
-        about = self.me._replace(incarnation=0)
+        vm_record = self.me._replace(incarnation=0)
         me = self.me
         self.rumours.merge(
-            MemberUpdate(me.vm, me.incarnation, status, self.refutations, about)
+            MemberUpdate(me.vm, me.incarnation, status, self.refutations, vm_record)
         )
 
     def _expedite_next_round(self, now: float) -> None:
