Rename believed to alive_vms

VMs that count as alive.

Rename: libs/membership/src/kumquatmux_membership/sampled.py believed alive_vms

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -241,17 +241,17 @@
         self.next_round = min(self.next_round, now + UPDATE_DELAY_SECONDS)
 
     def _update_neighbours(self, now: float) -> None:
-        believed = [
+        alive_vms = [
             peer.vm
             for peer in self.peers.values()
             if not peer.left and self.rumours.is_alive(peer.vm.vm)
         ]
-        key = frozenset(vm.vm for vm in believed)
+        key = frozenset(vm.vm for vm in alive_vms)
         if key == self.ring_members:
             return
         self.ring_members = key
         self.touched |= self.neighbours
-        chosen = ring_neighbours(self.me, believed, self.settings.fanout)
+        chosen = ring_neighbours(self.me, alive_vms, self.settings.fanout)
         for vm in sorted(chosen - self.neighbours):
             peer = self.peers[vm]
             peer.hold_down_until = NEVER
