Rename key to ring_members

The VMs that the rings are computed from.

Rename: libs/membership/src/kumquatmux_membership/sampled.py key ring_members

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -246,10 +246,10 @@
             for peer in self.peers.values()
             if not peer.left and self.rumours.is_alive(peer.vm.vm)
         ]
-        key = frozenset(vm.vm for vm in alive_vms)
-        if key == self.ring_members:
+        ring_members = frozenset(vm.vm for vm in alive_vms)
+        if ring_members == self.ring_members:
             return
-        self.ring_members = key
+        self.ring_members = ring_members
         self.touched |= self.neighbours
         chosen = ring_neighbours(self.me, alive_vms, self.settings.fanout)
         for vm in sorted(chosen - self.neighbours):
