Rename chosen to neighbours

They are the neighbours.

Rename: libs/membership/src/kumquatmux_membership/sampled.py chosen neighbours

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -251,11 +251,11 @@
             return
         self.ring_members = ring_members
         self.touched |= self.neighbours
-        chosen = ring_neighbours(self.me, alive_vms, self.settings.fanout)
-        for vm in sorted(chosen - self.neighbours):
+        neighbours = ring_neighbours(self.me, alive_vms, self.settings.fanout)
+        for vm in sorted(neighbours - self.neighbours):
             peer = self.peers[vm]
             peer.hold_down_until = NEVER
             peer.excludes_us = False
             if peer.in_view:
                 peer.last_echo = max(peer.last_echo, now)
-        self.neighbours = chosen
+        self.neighbours = neighbours
