--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -20,7 +20,7 @@
     """
 
     def __init__(self) -> None:
-        self.latest: tuple[Vm, ...] = ()
+        self.last_reported: tuple[Vm, ...] = ()
         self.lost: set[VmId] = set()
         self.stale = False
 
@@ -42,16 +42,16 @@
             return None
         self.stale = False
         view = tuple(sorted([me, *(peer.vm for peer in peers if peer.in_view)]))
-        if view == self.latest and not (due or self.lost):
+        if view == self.last_reported and not (due or self.lost):
             return None
         self._log_change(view)
         lost = tuple(sorted(self.lost))
-        self.latest = view
+        self.last_reported = view
         self.lost = set()
         return ViewChanged(view, lost)
 
     def _log_change(self, view: tuple[Vm, ...]) -> None:
-        before = {vm.vm for vm in self.latest}
+        before = {vm.vm for vm in self.last_reported}
         after = {vm.vm for vm in view}
         decisions.log(
             "view-changed",
