--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -160,7 +160,7 @@
 
     @_handle_event.register
     def _on_peers_changed(self, event: PeersChanged, now: float) -> None:
-        self.view.stale = True
+        self.view.dirty = True
         self.next_housekeeping = now
         for vm in self.peer_list.set_configured(event.peers, now):
             self._report_new_peer(vm)
@@ -264,7 +264,7 @@
         known_before = peer.vm.incarnation != UNKNOWN_INCARNATION
         if peer.in_view and known_before:
             self.view.lose(peer)
-        self.view.stale = True
+        self.view.dirty = True
         self.touched.add(peer.vm.vm)
         peer.renew_incarnation(incarnation)
 
@@ -371,7 +371,7 @@
             self.view.lose(peer)
             if not peer.left and peer.vm.vm in self._monitored_peers():
                 peer.record_loss(now, self.settings)
-        self.view.stale = True
+        self.view.dirty = True
         peer.in_view = usable
         peer.view_changed_at = now
         self._on_peer_view_change(peer, now)
--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -22,11 +22,11 @@
     def __init__(self) -> None:
         self.last_reported: tuple[Vm, ...] = ()
         self.lost: set[VmId] = set()
-        self.stale = False
+        self.dirty = False
 
     def lose(self, peer: Peer) -> None:
         """Note that a peer went, unless it had said so before."""
-        self.stale = True
+        self.dirty = True
         if not peer.left:
             self.lost.add(peer.vm.vm)
 
@@ -38,9 +38,9 @@
             peers: All its peers.
             due: Whether it is to be told even if it did not change.
         """
-        if not (due or self.stale or self.lost):
+        if not (due or self.dirty or self.lost):
             return None
-        self.stale = False
+        self.dirty = False
         view = tuple(sorted([me, *(peer.vm for peer in peers if peer.in_view)]))
         if view == self.last_reported and not (due or self.lost):
             return None
