--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -263,7 +263,7 @@
             return
         known_before = peer.vm.incarnation != UNKNOWN_INCARNATION
         if peer.in_view and known_before:
-            self.view.lose(peer)
+            self.view.record_loss(peer)
         self.view.dirty = True
         self.touched.add(peer.vm.vm)
         peer.renew_incarnation(incarnation)
@@ -368,7 +368,7 @@
         if usable == peer.in_view:
             return
         if not usable:
-            self.view.lose(peer)
+            self.view.record_loss(peer)
             if not peer.left and peer.vm.vm in self._monitored_peers():
                 peer.record_loss(now, self.settings)
         self.view.dirty = True
--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -24,7 +24,7 @@
         self.lost: set[VmId] = set()
         self.dirty = False
 
-    def lose(self, peer: Peer) -> None:
+    def record_loss(self, peer: Peer) -> None:
         """Note that a peer went, unless it had said so before."""
         self.dirty = True
         if not peer.left:
