Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/view.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -30,7 +30,9 @@
         if not peer.left:
             self.lost.add(peer.vm.vm)
 
-    def renew(self, me: Vm, peers: Iterable[Peer], *, due: bool) -> ViewChanged | None:
+    def renew(
+        self, local_vm: Vm, peers: Iterable[Peer], *, due: bool
+    ) -> ViewChanged | None:
         """Return the view if it is not what it was.
 
         Args:
@@ -41,7 +43,7 @@
         if not (due or self.dirty or self.lost):
             return None
         self.dirty = False
-        view = tuple(sorted([me, *(peer.vm for peer in peers if peer.in_view)]))
+        view = tuple(sorted([local_vm, *(peer.vm for peer in peers if peer.in_view)]))
         if view == self.last_reported and not (due or self.lost):
             return None
         self._log_change(view)
