--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -354,7 +354,7 @@
             if peer is not None:
                 self._update_peer(peer, now)
         self.touched = set()
-        changed = self.view.renew(self.me, self.peers.values(), due=due)
+        changed = self.view.update(self.me, self.peers.values(), due=due)
         if changed is not None:
             self.actions.append(changed)
 
--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -30,7 +30,7 @@
         if not peer.left:
             self.lost.add(peer.vm.vm)
 
-    def renew(
+    def update(
         self, local_vm: Vm, peers: Iterable[Peer], *, due: bool
     ) -> ViewChanged | None:
         """Return the view if it is not what it was.
