--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -53,12 +53,12 @@
         return ViewChanged(view, lost)
 
     def _log_change(self, view: tuple[Vm, ...]) -> None:
-        before = {vm.vm for vm in self.last_reported}
+        previous_ids = {vm.vm for vm in self.last_reported}
         after = {vm.vm for vm in view}
         decisions.log(
             "view-changed",
             live=len(view),
-            joined=",".join(sorted(after - before)),
-            gone=",".join(sorted(before - after)),
+            joined=",".join(sorted(after - previous_ids)),
+            gone=",".join(sorted(previous_ids - after)),
             lost=",".join(sorted(self.lost)),
         )
