--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -54,11 +54,11 @@
 
     def _log_change(self, view: tuple[Vm, ...]) -> None:
         previous_ids = {vm.vm for vm in self.last_reported}
-        after = {vm.vm for vm in view}
+        current_ids = {vm.vm for vm in view}
         decisions.log(
             "view-changed",
             live=len(view),
-            joined=",".join(sorted(after - previous_ids)),
-            gone=",".join(sorted(previous_ids - after)),
+            joined=",".join(sorted(current_ids - previous_ids)),
+            gone=",".join(sorted(previous_ids - current_ids)),
             lost=",".join(sorted(self.lost)),
         )
