Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/membership.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -59,15 +59,15 @@
 
     def __init__(
         self,
-        me: Vm,
+        local_vm: Vm,
         peers: tuple[Vm, ...],
         settings: MembershipSettings,
         random: Random,
     ) -> None:
-        self.me = me
+        self.me = local_vm
         self.settings = settings
         self.random = random
-        self.peer_list = PeerList(me.vm, peers)
+        self.peer_list = PeerList(local_vm.vm, peers)
         self.peers = self.peer_list.peers
         self.revision = 0
         self.digest = ""
@@ -80,7 +80,7 @@
         self.suspended_until: float | None = None
         self.awake_since = NEVER
         self.awaited: set[VmId] = set(self.peers)
-        self.probes = PendingProbes(me.vm)
+        self.probes = PendingProbes(local_vm.vm)
         self.probe_number = 0
         self.view = View()
         self.touched: set[VmId] = set()
