Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/membership.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -64,7 +64,7 @@
         settings: MembershipSettings,
         random: Random,
     ) -> None:
-        self.me = local_vm
+        self.local_vm = local_vm
         self.settings = settings
         self.random = random
         self.peer_list = PeerList(local_vm.vm, peers)
@@ -134,7 +134,7 @@
             peer.last_echo = NEVER
             peer.probe_extension_until = NEVER
             peer.probe_id = 0
-        decisions.log("view-suspended", vm=self.me.vm, gap=round(gap, 3))
+        decisions.log("view-suspended", vm=self.local_vm.vm, gap=round(gap, 3))
         self.actions.append(ViewSuspended(gap))
 
     @singledispatchmethod
@@ -154,7 +154,7 @@
     @_handle_event.register
     def _on_leave(self, event: Leave, now: float) -> None:
         self.leaving = True
-        decisions.log("vm-leaving", vm=self.me.vm)
+        decisions.log("vm-leaving", vm=self.local_vm.vm)
         self._on_shutdown(now)
         self._heartbeat_round(now)
 
@@ -182,7 +182,7 @@
         peer.latest_timestamp = message.timestamp
         peer.heartbeat_received_at = now
         peer.heartbeat_received = True
-        current = echoes_own_timestamp(message, self.me.incarnation, now)
+        current = echoes_own_timestamp(message, self.local_vm.incarnation, now)
         if current and message.echoed_timestamp >= self.awake_since:
             peer.record_echo(message.echoed_timestamp)
             self.actions += self.probes.take_answers(peer)
@@ -198,14 +198,14 @@
 
     @_handle_message.register
     def _receive_hello(self, message: Hello, now: float) -> None:
-        if message.vm.vm == self.me.vm:
+        if message.vm.vm == self.local_vm.vm:
             return
         peer = self._add_peer(message.vm, now)
         if self._speaker(message.vm.vm, message.vm.incarnation) is None:
             return
         peer.vm = message.vm
         for vm in message.known_vms:
-            if vm.vm != self.me.vm:
+            if vm.vm != self.local_vm.vm:
                 self._add_peer(vm, now)
         if not message.is_reply:
             self._send_heartbeat(peer, now)
@@ -217,12 +217,12 @@
 
     @_handle_message.register
     def _receive_superseded(self, message: Superseded, now: float) -> None:
-        if message.incarnation <= self.me.incarnation:
+        if message.incarnation <= self.local_vm.incarnation:
             return
         step = 1 + self.random.getrandbits(INCARNATION_STEP_BITS)
-        self.me = self.me._replace(incarnation=message.incarnation + step)
-        decisions.log("incarnation-raised", incarnation=self.me.incarnation)
-        self.actions.append(IncarnationRaised(self.me.incarnation))
+        self.local_vm = self.local_vm._replace(incarnation=message.incarnation + step)
+        decisions.log("incarnation-raised", incarnation=self.local_vm.incarnation)
+        self.actions.append(IncarnationRaised(self.local_vm.incarnation))
         self._on_own_incarnation_raised()
         self._heartbeat_round(now)
 
@@ -252,7 +252,7 @@
         if peer is None:
             return None
         if incarnation < peer.vm.incarnation:
-            self._send(sender, Superseded(self.me.vm, peer.vm.incarnation))
+            self._send(sender, Superseded(self.local_vm.vm, peer.vm.incarnation))
             return None
         self._update_incarnation(peer, incarnation)
         return peer
@@ -302,8 +302,8 @@
     def _send_heartbeat(self, peer: Peer, now: float) -> None:
         self.latest_stamp = max(now, self.latest_stamp + TIMESTAMP_STEP_SECONDS)
         message = Heartbeat(
-            sender=self.me.vm,
-            incarnation=self.me.incarnation,
+            sender=self.local_vm.vm,
+            incarnation=self.local_vm.incarnation,
             timestamp=self.latest_stamp,
             echoed_timestamp=peer.latest_timestamp,
             revision=self.revision,
@@ -320,7 +320,7 @@
 
     def _make_hello(self, *, answer: bool) -> Hello:
         known = [peer.vm for peer in self.peers.values() if not peer.left]
-        return Hello(self.me, tuple(known[:MAX_KNOWN_IN_HELLO]), answer)
+        return Hello(self.local_vm, tuple(known[:MAX_KNOWN_IN_HELLO]), answer)
 
     def _request_probes(self, target: Peer, now: float) -> None:
         helpers = [
@@ -331,7 +331,7 @@
         self.probe_number += 1
         target.probe_id = self.probe_number
         target.probe_requested_at = now
-        request = ProbeRequest(self.me.vm, target.vm.vm, self.probe_number)
+        request = ProbeRequest(self.local_vm.vm, target.vm.vm, self.probe_number)
         count = min(self.settings.probe_helpers, len(helpers))
         for helper in self.random.sample(helpers, count):
             self._send(helper, request)
@@ -354,7 +354,7 @@
             if peer is not None:
                 self._update_peer(peer, now)
         self.touched = set()
-        changed = self.view.update(self.me, self.peers.values(), due=due)
+        changed = self.view.update(self.local_vm, self.peers.values(), due=due)
         if changed is not None:
             self.actions.append(changed)
 
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -158,17 +158,17 @@
         ):
             self.next_sync = now + SYNC_INTERVAL_SECONDS
             all_updates = tuple(self.rumours.latest.values())
-            self._send(peer.vm.vm, Members(self.me.vm, all_updates))
+            self._send(peer.vm.vm, Members(self.local_vm.vm, all_updates))
 
     def _process_members(self, message: Members, now: float) -> None:
         for update in message.rumours:
             self._process_update(update, now)
         if not message.answer:
             all_updates = tuple(self.rumours.latest.values())
-            self._send(message.sender, Members(self.me.vm, all_updates, True))
+            self._send(message.sender, Members(self.local_vm.vm, all_updates, True))
 
     def _process_update(self, update: MemberUpdate, now: float) -> None:
-        if update.vm == self.me.vm:
+        if update.vm == self.local_vm.vm:
             self._refute_loss(update)
             return
         if not self.rumours.merge(update):
@@ -187,7 +187,7 @@
     def _refute_loss(self, update: MemberUpdate) -> None:
         if update.status == MemberStatus.ALIVE or self.leaving:
             return
-        if update.incarnation == self.me.incarnation:
+        if update.incarnation == self.local_vm.incarnation:
             self.refutations = max(self.refutations, update.refutations + 1)
             decisions.log("rumour-refuted", refutations=self.refutations)
             self._gossip_own_status(MemberStatus.ALIVE)
@@ -230,8 +230,8 @@
         self._gossip_own_status(MemberStatus.ALIVE)
 
     def _gossip_own_status(self, status: MemberStatus) -> None:
-        vm_record = self.me._replace(incarnation=0)
-        me = self.me
+        vm_record = self.local_vm._replace(incarnation=0)
+        me = self.local_vm
         self.rumours.merge(
             MemberUpdate(me.vm, me.incarnation, status, self.refutations, vm_record)
         )
@@ -251,7 +251,7 @@
             return
         self.ring_members = ring_members
         self.touched |= self.neighbours
-        neighbours = ring_neighbours(self.me, alive_vms, self.settings.fanout)
+        neighbours = ring_neighbours(self.local_vm, alive_vms, self.settings.fanout)
         for vm in sorted(neighbours - self.neighbours):
             peer = self.peers[vm]
             peer.hold_down_until = NEVER
