--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -43,7 +43,7 @@
 
 INCARNATION_STEP_BITS = 20
 HOUSEKEEPING_SECONDS = 1.0
-REPLY_GAP_SECONDS = 0.05
+MIN_REPLY_INTERVAL_SECONDS = 0.05
 MAX_KNOWN_IN_HELLO = 64
 
 
@@ -187,7 +187,7 @@
             peer.record_echo(message.echoed_timestamp)
             self.actions += self.probes.take_answers(peer)
         unconfirmed = now - peer.last_echo > self.settings.remove_seconds
-        if unconfirmed and now - peer.heartbeat_sent_at >= REPLY_GAP_SECONDS:
+        if unconfirmed and now - peer.heartbeat_sent_at >= MIN_REPLY_INTERVAL_SECONDS:
             self._send_heartbeat(peer, now)
         peer.excludes_us = message.excludes_receiver and not self.leaving
         if message.leaving:
