Rename MAX_KNOWN_IN_HELLO to MAX_VMS_IN_HELLO

Says what is counted.

Rename: libs/membership/src/kumquatmux_membership/membership.py MAX_KNOWN_IN_HELLO MAX_VMS_IN_HELLO

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -44,7 +44,7 @@
 INCARNATION_STEP_BITS = 20
 HOUSEKEEPING_SECONDS = 1.0
 MIN_REPLY_INTERVAL_SECONDS = 0.05
-MAX_KNOWN_IN_HELLO = 64
+MAX_VMS_IN_HELLO = 64
 
 
 class Membership:
@@ -320,7 +320,7 @@
 
     def _make_hello(self, *, answer: bool) -> Hello:
         known = [peer.vm for peer in self.peers.values() if not peer.left]
-        return Hello(self.local_vm, tuple(known[:MAX_KNOWN_IN_HELLO]), answer)
+        return Hello(self.local_vm, tuple(known[:MAX_VMS_IN_HELLO]), answer)
 
     def _request_probes(self, target: Peer, now: float) -> None:
         helpers = [
