Rename HOUSEKEEPING_SECONDS to HOUSEKEEPING_INTERVAL_SECONDS

It is an interval.

Rename: libs/membership/src/kumquatmux_membership/membership.py HOUSEKEEPING_SECONDS HOUSEKEEPING_INTERVAL_SECONDS

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -42,7 +42,7 @@
 from kumquatmux_membership.view import View
 
 INCARNATION_STEP_BITS = 20
-HOUSEKEEPING_SECONDS = 1.0
+HOUSEKEEPING_INTERVAL_SECONDS = 1.0
 MIN_REPLY_INTERVAL_SECONDS = 0.05
 MAX_VMS_IN_HELLO = 64
 
@@ -110,7 +110,7 @@
         self._detect_pause(now)
         self._handle_event(event, now)
         if now >= self.next_housekeeping:
-            self.next_housekeeping = now + HOUSEKEEPING_SECONDS
+            self.next_housekeeping = now + HOUSEKEEPING_INTERVAL_SECONDS
             self.peer_list.prune(now, self.settings)
             news = self.peer_list.report_changes(now, self.settings)
             if news is not None:
