--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -69,7 +69,7 @@
         self.random = random
         self.peer_list = PeerList(local_vm.vm, peers)
         self.peers = self.peer_list.peers
-        self.revision = 0
+        self.settings_revision = 0
         self.digest = ""
         self.leases = 0
         self.leaving = False
@@ -89,7 +89,7 @@
 
     def note_settings(self, revision: int, digest: str) -> None:
         """Take the settings revision and digest that heartbeats carry."""
-        self.revision = revision
+        self.settings_revision = revision
         self.digest = digest
 
     def note_leases(self, version: int) -> None:
@@ -192,7 +192,7 @@
         peer.excludes_us = message.excludes_receiver and not self.leaving
         if message.leaving:
             self._mark_left(peer, now)
-        if message.revision > self.revision:
+        if message.revision > self.settings_revision:
             self.actions.append(PeerAhead(peer.vm.vm, message.revision))
         self._process_gossip(peer, message, now)
 
@@ -306,7 +306,7 @@
             incarnation=self.local_vm.incarnation,
             timestamp=self.latest_stamp,
             echoed_timestamp=peer.latest_timestamp,
-            revision=self.revision,
+            revision=self.settings_revision,
             digest=self.digest,
             lease_table_version=self.leases,
             leaving=self.leaving,
