Rename digest to settings_digest

Says of what.

Rename: libs/membership/src/kumquatmux_membership/membership.py digest settings_digest

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -70,7 +70,7 @@
         self.peer_list = PeerList(local_vm.vm, peers)
         self.peers = self.peer_list.peers
         self.settings_revision = 0
-        self.digest = ""
+        self.settings_digest = ""
         self.leases = 0
         self.leaving = False
         self.round = 0
@@ -90,7 +90,7 @@
     def note_settings(self, revision: int, digest: str) -> None:
         """Take the settings revision and digest that heartbeats carry."""
         self.settings_revision = revision
-        self.digest = digest
+        self.settings_digest = digest
 
     def note_leases(self, version: int) -> None:
         """Take the version of our lease table that heartbeats carry."""
@@ -307,7 +307,7 @@
             timestamp=self.latest_stamp,
             echoed_timestamp=peer.latest_timestamp,
             revision=self.settings_revision,
-            digest=self.digest,
+            digest=self.settings_digest,
             lease_table_version=self.leases,
             leaving=self.leaving,
             echoed_incarnation=peer.vm.incarnation,
