Rename leases to lease_table_version

It is the version of the lease table.

Rename: libs/membership/src/kumquatmux_membership/membership.py leases lease_table_version

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -71,7 +71,7 @@
         self.peers = self.peer_list.peers
         self.settings_revision = 0
         self.settings_digest = ""
-        self.leases = 0
+        self.lease_table_version = 0
         self.leaving = False
         self.round = 0
         self.next_round = NEVER
@@ -94,7 +94,7 @@
 
     def note_leases(self, version: int) -> None:
         """Take the version of our lease table that heartbeats carry."""
-        self.leases = version
+        self.lease_table_version = version
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event and return what is to be done.
@@ -308,7 +308,7 @@
             echoed_timestamp=peer.latest_timestamp,
             revision=self.settings_revision,
             digest=self.settings_digest,
-            lease_table_version=self.leases,
+            lease_table_version=self.lease_table_version,
             leaving=self.leaving,
             echoed_incarnation=peer.vm.incarnation,
             excludes_receiver=self._excludes(peer, now),
