--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -73,7 +73,7 @@
         self.settings_digest = ""
         self.lease_table_version = 0
         self.leaving = False
-        self.round = 0
+        self.round_number = 0
         self.next_round = NEVER
         self.latest_now = NEVER
         self.latest_stamp = 0.0
@@ -289,8 +289,8 @@
     def _heartbeat_round(self, now: float) -> None:
         spread = self.random.uniform(0.9, 1.0)
         self.next_round = now + self.settings.heartbeat_seconds * spread
-        quiet = self.round % self.settings.quiet_rounds
-        self.round += 1
+        quiet = self.round_number % self.settings.quiet_rounds
+        self.round_number += 1
         for peer in self._heartbeat_targets(now):
             silent = now - peer.heartbeat_received_at > self.settings.remove_seconds
             if silent and quiet and not peer.in_view and self.suspended_until is None:
