--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -75,7 +75,7 @@
         self.leaving = False
         self.round_number = 0
         self.next_round = NEVER
-        self.latest_now = NEVER
+        self.last_event_time = NEVER
         self.latest_stamp = 0.0
         self.suspended_until: float | None = None
         self.awake_since = NEVER
@@ -119,8 +119,8 @@
         return self.actions
 
     def _detect_pause(self, now: float) -> None:
-        gap = now - self.latest_now
-        self.latest_now = now
+        gap = now - self.last_event_time
+        self.last_event_time = now
         if gap <= self.settings.pause_seconds:
             return
         started = gap == float("inf")
