Rename latest_stamp to latest_timestamp

The usual term.

Rename: libs/membership/src/kumquatmux_membership/membership.py latest_stamp latest_timestamp

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -76,7 +76,7 @@
         self.round_number = 0
         self.next_round = NEVER
         self.last_event_time = NEVER
-        self.latest_stamp = 0.0
+        self.latest_timestamp = 0.0
         self.suspended_until: float | None = None
         self.awake_since = NEVER
         self.awaited: set[VmId] = set(self.peers)
@@ -232,7 +232,7 @@
         if target is None:
             return
         self._send_heartbeat(target, now)
-        self.probes.add(message, self.latest_stamp)
+        self.probes.add(message, self.latest_timestamp)
 
     @_handle_message.register
     def _receive_probe_answer(self, message: ProbeAnswer, now: float) -> None:
@@ -300,11 +300,11 @@
                 self._send(peer.vm.vm, self._make_hello(answer=False))
 
     def _send_heartbeat(self, peer: Peer, now: float) -> None:
-        self.latest_stamp = max(now, self.latest_stamp + TIMESTAMP_STEP_SECONDS)
+        self.latest_timestamp = max(now, self.latest_timestamp + TIMESTAMP_STEP_SECONDS)
         message = Heartbeat(
             sender=self.local_vm.vm,
             incarnation=self.local_vm.incarnation,
-            timestamp=self.latest_stamp,
+            timestamp=self.latest_timestamp,
             echoed_timestamp=peer.latest_timestamp,
             revision=self.settings_revision,
             digest=self.settings_digest,
