--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -78,7 +78,7 @@
         self.last_event_time = NEVER
         self.latest_timestamp = 0.0
         self.suspended_until: float | None = None
-        self.awake_since = NEVER
+        self.resumed_at = NEVER
         self.awaited: set[VmId] = set(self.peers)
         self.probes = PendingProbes(local_vm.vm)
         self.probe_number = 0
@@ -126,7 +126,7 @@
         started = gap == float("inf")
         self.suspended_until = now + self.settings.settle_seconds
         self.next_round = now
-        self.awake_since = now
+        self.resumed_at = now
         if started:
             return
         self.awaited = {peer.vm.vm for peer in self.peers.values() if peer.in_view}
@@ -183,7 +183,7 @@
         peer.heartbeat_received_at = now
         peer.heartbeat_received = True
         current = echoes_own_timestamp(message, self.local_vm.incarnation, now)
-        if current and message.echoed_timestamp >= self.awake_since:
+        if current and message.echoed_timestamp >= self.resumed_at:
             peer.record_echo(message.echoed_timestamp)
             self.actions += self.probes.take_answers(peer)
         unconfirmed = now - peer.last_echo > self.settings.remove_seconds
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -207,7 +207,7 @@
             return
         if not self.rumours.is_alive(peer.vm.vm):
             return
-        last_evidence = max(peer.probe_confirmed_at, peer.last_echo, self.awake_since)
+        last_evidence = max(peer.probe_confirmed_at, peer.last_echo, self.resumed_at)
         if peer.last_echo == NEVER:
             last_evidence = max(last_evidence, peer.view_changed_at)
         if not peer.left and now - last_evidence <= self.settings.remove_seconds:
