Rename awaited to awaited_peers

They are peers.

Rename: libs/membership/src/kumquatmux_membership/membership.py awaited awaited_peers

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -79,7 +79,7 @@
         self.latest_timestamp = 0.0
         self.suspended_until: float | None = None
         self.resumed_at = NEVER
-        self.awaited: set[VmId] = set(self.peers)
+        self.awaited_peers: set[VmId] = set(self.peers)
         self.probes = PendingProbes(local_vm.vm)
         self.probe_number = 0
         self.view = View()
@@ -129,7 +129,9 @@
         self.resumed_at = now
         if started:
             return
-        self.awaited = {peer.vm.vm for peer in self.peers.values() if peer.in_view}
+        self.awaited_peers = {
+            peer.vm.vm for peer in self.peers.values() if peer.in_view
+        }
         for peer in self.peers.values():
             peer.last_echo = NEVER
             peer.probe_extension_until = NEVER
@@ -344,7 +346,7 @@
             if now < self.suspended_until and not self._awaited_peers_ready(now):
                 return
             self.suspended_until = None
-            self.awaited = set()
+            self.awaited_peers = set()
         if due:
             self.touched.update(self.peers)
         elif isinstance(event, Tick):
@@ -359,7 +361,7 @@
             self.actions.append(changed)
 
     def _awaited_peers_ready(self, now: float) -> bool:
-        watched = set(self._monitored_peers()) & self.awaited
+        watched = set(self._monitored_peers()) & self.awaited_peers
         peers = [self.peers[name] for name in watched]
         return all(peer.left or peer.usable(now, self.settings) for peer in peers)
 
