Rename probe_number to last_probe_id

It identifies the last probe.

Rename: libs/membership/src/kumquatmux_membership/membership.py probe_number last_probe_id

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -81,7 +81,7 @@
         self.resumed_at = NEVER
         self.awaited_peers: set[VmId] = set(self.peers)
         self.probes = PendingProbes(local_vm.vm)
-        self.probe_number = 0
+        self.last_probe_id = 0
         self.view = View()
         self.touched: set[VmId] = set()
         self.next_housekeeping = NEVER
@@ -330,10 +330,10 @@
             for peer in self.peers.values()
             if peer is not target and peer.usable(now, self.settings)
         ]
-        self.probe_number += 1
-        target.probe_id = self.probe_number
+        self.last_probe_id += 1
+        target.probe_id = self.last_probe_id
         target.probe_requested_at = now
-        request = ProbeRequest(self.local_vm.vm, target.vm.vm, self.probe_number)
+        request = ProbeRequest(self.local_vm.vm, target.vm.vm, self.last_probe_id)
         count = min(self.settings.probe_helpers, len(helpers))
         for helper in self.random.sample(helpers, count):
             self._send(helper, request)
