Rename touched to peers_to_update

The peers to update in the view.

Rename: libs/membership/src/kumquatmux_membership/membership.py touched peers_to_update

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -83,7 +83,7 @@
         self.probes = PendingProbes(local_vm.vm)
         self.last_probe_id = 0
         self.view = View()
-        self.touched: set[VmId] = set()
+        self.peers_to_update: set[VmId] = set()
         self.next_housekeeping = NEVER
         self.actions: list[Action] = []
 
@@ -180,7 +180,7 @@
         peer = self._speaker(message.sender, message.incarnation)
         if peer is None or message.timestamp <= peer.latest_timestamp:
             return
-        self.touched.add(message.sender)
+        self.peers_to_update.add(message.sender)
         peer.latest_timestamp = message.timestamp
         peer.heartbeat_received_at = now
         peer.heartbeat_received = True
@@ -267,7 +267,7 @@
         if peer.in_view and known_before:
             self.view.record_loss(peer)
         self.view.dirty = True
-        self.touched.add(peer.vm.vm)
+        self.peers_to_update.add(peer.vm.vm)
         peer.renew_incarnation(incarnation)
 
     def _mark_left(self, peer: Peer, now: float) -> None:
@@ -275,7 +275,7 @@
             return
         peer.left = True
         peer.left_at = now
-        self.touched.add(peer.vm.vm)
+        self.peers_to_update.add(peer.vm.vm)
         decisions.log("peer-leaving", vm=peer.vm.vm)
 
     def _add_peer(self, vm: Vm, now: float) -> Peer:
@@ -285,7 +285,7 @@
         return self.peers[vm.vm]
 
     def _report_new_peer(self, vm: Vm) -> None:
-        self.touched.add(vm.vm)
+        self.peers_to_update.add(vm.vm)
         self.actions.append(PeerLearned(vm))
 
     def _heartbeat_round(self, now: float) -> None:
@@ -348,14 +348,14 @@
             self.suspended_until = None
             self.awaited_peers = set()
         if due:
-            self.touched.update(self.peers)
+            self.peers_to_update.update(self.peers)
         elif isinstance(event, Tick):
-            self.touched.update(self._monitored_peers())
-        for name in sorted(self.touched):
+            self.peers_to_update.update(self._monitored_peers())
+        for name in sorted(self.peers_to_update):
             peer = self.peers.get(name)
             if peer is not None:
                 self._update_peer(peer, now)
-        self.touched = set()
+        self.peers_to_update = set()
         changed = self.view.update(self.local_vm, self.peers.values(), due=due)
         if changed is not None:
             self.actions.append(changed)
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -174,7 +174,7 @@
         if not self.rumours.merge(update):
             return
         self._expedite_next_round(now)
-        self.touched.add(update.vm)
+        self.peers_to_update.add(update.vm)
         peer = self.peers.get(update.vm)
         if peer is None and update.vm_record is not None:
             peer = self._add_peer(update.vm_record, now)
@@ -250,7 +250,7 @@
         if ring_members == self.ring_members:
             return
         self.ring_members = ring_members
-        self.touched |= self.neighbours
+        self.peers_to_update |= self.neighbours
         neighbours = ring_neighbours(self.local_vm, alive_vms, self.settings.fanout)
         for vm in sorted(neighbours - self.neighbours):
             peer = self.peers[vm]
