Rename probes to pending_probes

The probes that are not answered.

Rename: libs/membership/src/kumquatmux_membership/membership.py probes pending_probes

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -80,7 +80,7 @@
         self.suspended_until: float | None = None
         self.resumed_at = NEVER
         self.awaited_peers: set[VmId] = set(self.peers)
-        self.probes = PendingProbes(local_vm.vm)
+        self.pending_probes = PendingProbes(local_vm.vm)
         self.last_probe_id = 0
         self.view = View()
         self.peers_to_update: set[VmId] = set()
@@ -151,7 +151,7 @@
             peer = self.peers[name]
             if peer.suspected(now, self.settings) and not peer.probe_id:
                 self._request_probes(peer, now)
-        self.probes.prune(now)
+        self.pending_probes.prune(now)
 
     @_handle_event.register
     def _on_leave(self, event: Leave, now: float) -> None:
@@ -187,7 +187,7 @@
         current = echoes_own_timestamp(message, self.local_vm.incarnation, now)
         if current and message.echoed_timestamp >= self.resumed_at:
             peer.record_echo(message.echoed_timestamp)
-            self.actions += self.probes.take_answers(peer)
+            self.actions += self.pending_probes.take_answers(peer)
         unconfirmed = now - peer.last_echo > self.settings.remove_seconds
         if unconfirmed and now - peer.heartbeat_sent_at >= MIN_REPLY_INTERVAL_SECONDS:
             self._send_heartbeat(peer, now)
@@ -234,7 +234,7 @@
         if target is None:
             return
         self._send_heartbeat(target, now)
-        self.probes.add(message, self.latest_timestamp)
+        self.pending_probes.add(message, self.latest_timestamp)
 
     @_handle_message.register
     def _receive_probe_answer(self, message: ProbeAnswer, now: float) -> None:
