--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -59,7 +59,7 @@
 
     def note_settings(self, revision: int, digest: str) -> None:
         """Take the settings revision and digest that heartbeats carry."""
-        self.membership.note_settings(revision, digest)
+        self.membership.advertise_settings(revision, digest)
 
     def refresh(self, now: float) -> list[Action]:
         """Return what time alone has changed, if ``valid_until`` has passed.
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -87,7 +87,7 @@
         self.next_housekeeping = NEVER
         self.actions: list[Action] = []
 
-    def note_settings(self, revision: int, digest: str) -> None:
+    def advertise_settings(self, revision: int, digest: str) -> None:
         """Take the settings revision and digest that heartbeats carry."""
         self.settings_revision = revision
         self.settings_digest = digest
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -212,7 +212,7 @@
 def test_a_peer_ahead_in_settings_is_named_and_old_heartbeats_are_not():
     me, other = make_vms((ZoneName("cnx-a"),), 2)
     membership = Membership(me, (other,), MembershipSettings(), Random(1))
-    membership.note_settings(4, "x")
+    membership.advertise_settings(4, "x")
     beat = Heartbeat(other.vm, 1, 7.0, 0.0, 5, "y", 0)
     ahead = PeerAhead(other.vm, 5)
     assert ahead in membership.handle(Received(beat), 10.0)
