Rename note_leases to advertise_lease_table

Heartbeats advertise its version.

Rename: libs/membership/src/kumquatmux_membership/membership.py note_leases advertise_lease_table

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -84,7 +84,7 @@
         """
         monotonic_now = self.clock.from_source(now)
         actions = self.leases.handle(event, monotonic_now)
-        self.membership.note_leases(self.leases.holder.version)
+        self.membership.advertise_lease_table(self.leases.holder.version)
         membership_actions = self.membership.handle(event, monotonic_now)
         for action in membership_actions:
             if isinstance(action, PeersChanged | IncarnationRaised):
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -92,7 +92,7 @@
         self.settings_revision = revision
         self.settings_digest = digest
 
-    def note_leases(self, version: int) -> None:
+    def advertise_lease_table(self, version: int) -> None:
         """Take the version of our lease table that heartbeats carry."""
         self.lease_table_version = version
 
