Rename started to first_event

Says what is tested.

Rename: libs/membership/src/kumquatmux_membership/membership.py started first_event

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -123,11 +123,11 @@
         self.last_event_time = now
         if gap <= self.settings.pause_seconds:
             return
-        started = gap == float("inf")
+        first_event = gap == float("inf")
         self.suspended_until = now + self.settings.settle_seconds
         self.next_round = now
         self.resumed_at = now
-        if started:
+        if first_event:
             return
         self.awaited_peers = {
             peer.vm.vm for peer in self.peers.values() if peer.in_view
