Rename news to peers_changed

It is a PeersChanged action.

Rename: libs/membership/src/kumquatmux_membership/membership.py news peers_changed

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -112,9 +112,9 @@
         if now >= self.next_housekeeping:
             self.next_housekeeping = now + HOUSEKEEPING_INTERVAL_SECONDS
             self.peer_list.prune(now, self.settings)
-            news = self.peer_list.report_changes(now, self.settings)
-            if news is not None:
-                self.actions.append(news)
+            peers_changed = self.peer_list.report_changes(now, self.settings)
+            if peers_changed is not None:
+                self.actions.append(peers_changed)
         self._update_view(event, now)
         return self.actions
 
