--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -147,8 +147,8 @@
     def _on_tick(self, event: Tick, now: float) -> None:
         if now >= self.next_round:
             self._heartbeat_round(now)
-        for name in self._monitored_peers():
-            peer = self.peers[name]
+        for vm_id in self._monitored_peers():
+            peer = self.peers[vm_id]
             if peer.suspected(now, self.settings) and not peer.probe_id:
                 self._request_probes(peer, now)
         self.pending_probes.prune(now)
