Rename current to echo_valid

Whether the echo is valid.

Rename: libs/membership/src/kumquatmux_membership/membership.py current echo_valid

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -184,8 +184,8 @@
         peer.latest_timestamp = message.timestamp
         peer.heartbeat_received_at = now
         peer.heartbeat_received = True
-        current = echoes_own_timestamp(message, self.local_vm.incarnation, now)
-        if current and message.echoed_timestamp >= self.resumed_at:
+        echo_valid = echoes_own_timestamp(message, self.local_vm.incarnation, now)
+        if echo_valid and message.echoed_timestamp >= self.resumed_at:
             peer.record_echo(message.echoed_timestamp)
             self.actions += self.pending_probes.take_answers(peer)
         unconfirmed = now - peer.last_echo > self.settings.remove_seconds
