Rename unconfirmed to echo_expired

Whether the last echo is too old.

Rename: libs/membership/src/kumquatmux_membership/membership.py unconfirmed echo_expired

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -188,8 +188,8 @@
         if echo_valid and message.echoed_timestamp >= self.resumed_at:
             peer.record_echo(message.echoed_timestamp)
             self.actions += self.pending_probes.take_answers(peer)
-        unconfirmed = now - peer.last_echo > self.settings.remove_seconds
-        if unconfirmed and now - peer.heartbeat_sent_at >= MIN_REPLY_INTERVAL_SECONDS:
+        echo_expired = now - peer.last_echo > self.settings.remove_seconds
+        if echo_expired and now - peer.heartbeat_sent_at >= MIN_REPLY_INTERVAL_SECONDS:
             self._send_heartbeat(peer, now)
         peer.excludes_us = message.excludes_receiver and not self.leaving
         if message.leaving:
