--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -221,8 +221,10 @@
     def _receive_superseded(self, message: Superseded, now: float) -> None:
         if message.incarnation <= self.local_vm.incarnation:
             return
-        step = 1 + self.random.getrandbits(INCARNATION_STEP_BITS)
-        self.local_vm = self.local_vm._replace(incarnation=message.incarnation + step)
+        random_step = 1 + self.random.getrandbits(INCARNATION_STEP_BITS)
+        self.local_vm = self.local_vm._replace(
+            incarnation=message.incarnation + random_step
+        )
         decisions.log("incarnation-raised", incarnation=self.local_vm.incarnation)
         self.actions.append(IncarnationRaised(self.local_vm.incarnation))
         self._on_own_incarnation_raised()
