Rename keep to extension_seconds

How long the peer stays.

Rename: libs/membership/src/kumquatmux_membership/membership.py keep extension_seconds

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -246,8 +246,10 @@
         self._update_incarnation(peer, message.incarnation)
         if peer.probe_id != message.number:
             return
-        keep = self.settings.remove_seconds + self.settings.probe_grace_seconds
-        peer.probe_extension_until = peer.last_echo + keep
+        extension_seconds = (
+            self.settings.remove_seconds + self.settings.probe_grace_seconds
+        )
+        peer.probe_extension_until = peer.last_echo + extension_seconds
         peer.probe_confirmed_at = now
 
     def _speaker(self, sender: VmId, incarnation: int) -> Peer | None:
