--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -293,8 +293,8 @@
         self.actions.append(PeerLearned(vm))
 
     def _heartbeat_round(self, now: float) -> None:
-        spread = self.random.uniform(0.9, 1.0)
-        self.next_round = now + self.settings.heartbeat_seconds * spread
+        period_factor = self.random.uniform(0.9, 1.0)
+        self.next_round = now + self.settings.heartbeat_seconds * period_factor
         quiet = self.round_number % self.settings.quiet_rounds
         self.round_number += 1
         for peer in self._heartbeat_targets(now):
