Rename quiet to skip_silent

Whether silent peers are skipped in this round.

Rename: libs/membership/src/kumquatmux_membership/membership.py quiet skip_silent

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -295,11 +295,16 @@
     def _heartbeat_round(self, now: float) -> None:
         period_factor = self.random.uniform(0.9, 1.0)
         self.next_round = now + self.settings.heartbeat_seconds * period_factor
-        quiet = self.round_number % self.settings.quiet_rounds
+        skip_silent = self.round_number % self.settings.quiet_rounds
         self.round_number += 1
         for peer in self._heartbeat_targets(now):
             silent = now - peer.heartbeat_received_at > self.settings.remove_seconds
-            if silent and quiet and not peer.in_view and self.suspended_until is None:
+            if (
+                silent
+                and skip_silent
+                and not peer.in_view
+                and self.suspended_until is None
+            ):
                 continue
             self._send_heartbeat(peer, now)
             if not peer.heartbeat_received:
