--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -330,8 +330,8 @@
         self._send(peer.vm.vm, message)
 
     def _make_hello(self, *, answer: bool) -> Hello:
-        known = [peer.vm for peer in self.peers.values() if not peer.left]
-        return Hello(self.local_vm, tuple(known[:MAX_VMS_IN_HELLO]), answer)
+        known_vms = [peer.vm for peer in self.peers.values() if not peer.left]
+        return Hello(self.local_vm, tuple(known_vms[:MAX_VMS_IN_HELLO]), answer)
 
     def _request_probes(self, target: Peer, now: float) -> None:
         helpers = [
