Rename known_before to incarnation_known

Whether the incarnation was known.

Rename: libs/membership/src/kumquatmux_membership/membership.py known_before incarnation_known

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -267,8 +267,8 @@
         """Drop what is known of an earlier process of a VM."""
         if incarnation <= peer.vm.incarnation:
             return
-        known_before = peer.vm.incarnation != UNKNOWN_INCARNATION
-        if peer.in_view and known_before:
+        incarnation_known = peer.vm.incarnation != UNKNOWN_INCARNATION
+        if peer.in_view and incarnation_known:
             self.view.record_loss(peer)
         self.view.dirty = True
         self.peers_to_update.add(peer.vm.vm)
