Rename due to force

Forces a report of the view.

Rename: libs/membership/src/kumquatmux_membership/membership.py due force

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -350,13 +350,13 @@
 
     def _update_view(self, event: Event, now: float) -> None:
         """Work out the view again where time or this event may have changed it."""
-        due = self.suspended_until is not None
+        force = self.suspended_until is not None
         if self.suspended_until is not None:
             if now < self.suspended_until and not self._awaited_peers_ready(now):
                 return
             self.suspended_until = None
             self.awaited_peers = set()
-        if due:
+        if force:
             self.peers_to_update.update(self.peers)
         elif isinstance(event, Tick):
             self.peers_to_update.update(self._monitored_peers())
@@ -365,7 +365,7 @@
             if peer is not None:
                 self._update_peer(peer, now)
         self.peers_to_update = set()
-        changed = self.view.update(self.local_vm, self.peers.values(), due=due)
+        changed = self.view.update(self.local_vm, self.peers.values(), due=force)
         if changed is not None:
             self.actions.append(changed)
 
