--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -360,8 +360,8 @@
             self.peers_to_update.update(self.peers)
         elif isinstance(event, Tick):
             self.peers_to_update.update(self._monitored_peers())
-        for name in sorted(self.peers_to_update):
-            peer = self.peers.get(name)
+        for vm_id in sorted(self.peers_to_update):
+            peer = self.peers.get(vm_id)
             if peer is not None:
                 self._update_peer(peer, now)
         self.peers_to_update = set()
