Rename watched to awaited_ids

The ids of the awaited peers.

Rename: libs/membership/src/kumquatmux_membership/membership.py watched awaited_ids

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -370,8 +370,8 @@
             self.actions.append(changed)
 
     def _awaited_peers_ready(self, now: float) -> bool:
-        watched = set(self._monitored_peers()) & self.awaited_peers
-        peers = [self.peers[name] for name in watched]
+        awaited_ids = set(self._monitored_peers()) & self.awaited_peers
+        peers = [self.peers[name] for name in awaited_ids]
         return all(peer.left or peer.usable(now, self.settings) for peer in peers)
 
     def _update_peer(self, peer: Peer, now: float) -> None:
