--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -371,7 +371,7 @@
 
     def _awaited_peers_ready(self, now: float) -> bool:
         awaited_ids = set(self._monitored_peers()) & self.awaited_peers
-        peers = [self.peers[name] for name in awaited_ids]
+        peers = [self.peers[vm_id] for vm_id in awaited_ids]
         return all(peer.left or peer.usable(now, self.settings) for peer in peers)
 
     def _update_peer(self, peer: Peer, now: float) -> None:
