--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -59,8 +59,8 @@
         self, told: dict[VmId, ToldTable], now: float
     ) -> frozenset[VmId]:
         limit = self.settings.stale_seconds
-        fresh = [table for table in told.values() if now < table.confirmed + limit]
-        ends = [table.confirmed + limit for table in fresh if table.leases]
+        fresh = [table for table in told.values() if now < table.confirmed_at + limit]
+        ends = [table.confirmed_at + limit for table in fresh if table.leases]
         self.valid_until = min(ends, default=float("inf"))
         return frozenset(table.holder for table in fresh)
 
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -306,7 +306,7 @@
     def _admission_state(self, now: float) -> Desk:
         started = self.started if self.started is not None else now
         unheard = [
-            vm for vm in self.peers if self.sharing.table(vm).confirmed < started
+            vm for vm in self.peers if self.sharing.table(vm).confirmed_at < started
         ]
         warm = now - started >= self.settings.stale_seconds
         return Desk(
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -98,7 +98,8 @@
         silent = [
             vm
             for vm, table in self.told.items()
-            if now - max(table.confirmed, table.pending) > self.settings.forget_seconds
+            if now - max(table.confirmed_at, table.pending)
+            > self.settings.forget_seconds
         ]
         for vm in silent:
             del self.told[vm]
@@ -106,5 +107,5 @@
 
     def _reachable(self, vm: VmId, now: float) -> bool:
         table = self.told[vm]
-        latest = max(table.confirmed, table.pending)
+        latest = max(table.confirmed_at, table.pending)
         return now - latest <= self.settings.stale_seconds
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -27,7 +27,7 @@
         self.incarnation = 0
         self.version = 0
         self.leases: dict[ServerId, Lease] = {}
-        self.confirmed = NEVER
+        self.confirmed_at = NEVER
         self.pending = NEVER
         self.pending_version = 0
         self.asked = NEVER
@@ -38,14 +38,14 @@
             self.incarnation = incarnation
             self.version = 0
             self.leases = {}
-            self.confirmed = NEVER
+            self.confirmed_at = NEVER
             self.pending = NEVER
         return incarnation == self.incarnation
 
     def confirm(self, message: Heartbeat) -> bool:
         """Take a heartbeat's echo; return whether changes have to be asked for."""
         if message.lease_table_version <= self.version:
-            self.confirmed = max(self.confirmed, message.echoed_timestamp)
+            self.confirmed_at = max(self.confirmed_at, message.echoed_timestamp)
             return False
         self.pending = message.echoed_timestamp
         self.pending_version = message.lease_table_version
@@ -66,5 +66,5 @@
                 self.leases.pop(lease.server, None)
         self.version = update.version
         if self.pending_version <= self.version:
-            self.confirmed = max(self.confirmed, self.pending)
+            self.confirmed_at = max(self.confirmed_at, self.pending)
         return True
