Rename pending to pending_confirmed_at

It is the time that confirmed_at takes later.

Rename: libs/membership/src/kumquatmux_membership/told.py pending pending_confirmed_at

--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -98,7 +98,7 @@
         silent = [
             vm
             for vm, table in self.told.items()
-            if now - max(table.confirmed_at, table.pending)
+            if now - max(table.confirmed_at, table.pending_confirmed_at)
             > self.settings.forget_seconds
         ]
         for vm in silent:
@@ -107,5 +107,5 @@
 
     def _reachable(self, vm: VmId, now: float) -> bool:
         table = self.told[vm]
-        latest = max(table.confirmed_at, table.pending)
+        latest = max(table.confirmed_at, table.pending_confirmed_at)
         return now - latest <= self.settings.stale_seconds
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -28,7 +28,7 @@
         self.version = 0
         self.leases: dict[ServerId, Lease] = {}
         self.confirmed_at = NEVER
-        self.pending = NEVER
+        self.pending_confirmed_at = NEVER
         self.pending_version = 0
         self.asked = NEVER
 
@@ -39,7 +39,7 @@
             self.version = 0
             self.leases = {}
             self.confirmed_at = NEVER
-            self.pending = NEVER
+            self.pending_confirmed_at = NEVER
         return incarnation == self.incarnation
 
     def confirm(self, message: Heartbeat) -> bool:
@@ -47,7 +47,7 @@
         if message.lease_table_version <= self.version:
             self.confirmed_at = max(self.confirmed_at, message.echoed_timestamp)
             return False
-        self.pending = message.echoed_timestamp
+        self.pending_confirmed_at = message.echoed_timestamp
         self.pending_version = message.lease_table_version
         return True
 
@@ -66,5 +66,5 @@
                 self.leases.pop(lease.server, None)
         self.version = update.version
         if self.pending_version <= self.version:
-            self.confirmed_at = max(self.confirmed_at, self.pending)
+            self.confirmed_at = max(self.confirmed_at, self.pending_confirmed_at)
         return True
