Rename asked to requested_at

When the changes were requested.

Rename: libs/membership/src/kumquatmux_membership/told.py asked requested_at

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -203,7 +203,7 @@
         if not echoes_own_timestamp(message, self.me.incarnation, now):
             return
         behind = table.confirm(message)
-        if behind and now - table.asked >= self.settings.resend_seconds:
+        if behind and now - table.requested_at >= self.settings.resend_seconds:
             self.sharing.ask(table, now)
 
     @_handle_message.register
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -46,7 +46,7 @@
 
     def ask(self, table: ToldTable, now: float) -> None:
         """Ask a holder for what changed since the version known here."""
-        table.asked = now
+        table.requested_at = now
         request = LeaseRequest(self.me.vm, table.version, table.incarnation)
         self.send(table.holder, request)
 
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -30,7 +30,7 @@
         self.confirmed_at = NEVER
         self.pending_confirmed_at = NEVER
         self.pending_version = 0
-        self.asked = NEVER
+        self.requested_at = NEVER
 
     def meet(self, incarnation: int) -> bool:
         """Start anew at a higher incarnation; return whether a message is current."""
