Rename meet to accept_incarnation

Says what is accepted.

Rename: libs/membership/src/kumquatmux_membership/told.py meet accept_incarnation

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -238,7 +238,7 @@
         """Return the table of a holder's present process, None for an earlier one."""
         table = self.sharing.table(vm)
         before = table.incarnation
-        if not table.meet(incarnation):
+        if not table.accept_incarnation(incarnation):
             return None
         self.freshness.dirty |= table.incarnation != before
         return table
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -32,7 +32,7 @@
         self.pending_version = 0
         self.requested_at = NEVER
 
-    def meet(self, incarnation: int) -> bool:
+    def accept_incarnation(self, incarnation: int) -> bool:
         """Start anew at a higher incarnation; return whether a message is current."""
         if incarnation > self.incarnation:
             self.incarnation = incarnation
