Rename confirm to record_echo

Records the heartbeat's echo.

Rename: libs/membership/src/kumquatmux_membership/told.py confirm record_echo

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -202,7 +202,7 @@
             return
         if not echoes_own_timestamp(message, self.me.incarnation, now):
             return
-        behind = table.confirm(message)
+        behind = table.record_echo(message)
         if behind and now - table.requested_at >= self.settings.resend_seconds:
             self.sharing.ask(table, now)
 
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -42,7 +42,7 @@
             self.pending_confirmed_at = NEVER
         return incarnation == self.incarnation
 
-    def confirm(self, message: Heartbeat) -> bool:
+    def record_echo(self, message: Heartbeat) -> bool:
         """Take a heartbeat's echo; return whether changes have to be asked for."""
         if message.lease_table_version <= self.version:
             self.confirmed_at = max(self.confirmed_at, message.echoed_timestamp)
