Rename ToldTable to PeerLeaseTable

It is the lease table of a peer.

Rename: libs/membership/src/kumquatmux_membership/told.py ToldTable PeerLeaseTable

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -9,7 +9,7 @@
 from kumquatmux_membership.known import KnownServers
 from kumquatmux_membership.phases import Phase, phase_of
 from kumquatmux_membership.settings import LeaseSettings
-from kumquatmux_membership.told import ToldTable
+from kumquatmux_membership.told import PeerLeaseTable
 
 
 class Freshness:
@@ -33,7 +33,7 @@
     def review(
         self,
         holder: Holder,
-        told: dict[VmId, ToldTable],
+        told: dict[VmId, PeerLeaseTable],
         known: KnownServers,
         now: float,
     ) -> ServersChanged | None:
@@ -56,7 +56,7 @@
         return servers
 
     def _fresh_holders(
-        self, told: dict[VmId, ToldTable], now: float
+        self, told: dict[VmId, PeerLeaseTable], now: float
     ) -> frozenset[VmId]:
         limit = self.settings.stale_seconds
         fresh = [table for table in told.values() if now < table.confirmed_at + limit]
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -49,7 +49,7 @@
 from kumquatmux_membership.settings import LeaseSettings
 from kumquatmux_membership.sharing import Sharing
 from kumquatmux_membership.stamps import echoes_own_timestamp
-from kumquatmux_membership.told import ToldTable
+from kumquatmux_membership.told import PeerLeaseTable
 
 HOUSEKEEPING_SECONDS = 1.0
 
@@ -234,7 +234,7 @@
         if message.incarnation == self.me.incarnation:
             self.notices.acknowledge(message.sender, message.version)
 
-    def _current_table(self, vm: VmId, incarnation: int) -> ToldTable | None:
+    def _current_table(self, vm: VmId, incarnation: int) -> PeerLeaseTable | None:
         """Return the table of a holder's present process, None for an earlier one."""
         table = self.sharing.table(vm)
         before = table.incarnation
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -12,7 +12,7 @@
 )
 from kumquatmux_membership.holder import Holder
 from kumquatmux_membership.settings import LeaseSettings
-from kumquatmux_membership.told import ToldTable
+from kumquatmux_membership.told import PeerLeaseTable
 
 
 class Sharing:
@@ -28,7 +28,7 @@
         self.me = me
         self.settings = settings
         self.holder = holder
-        self.told: dict[VmId, ToldTable] = {}
+        self.told: dict[VmId, PeerLeaseTable] = {}
         self.outgoing: list[Action] = []
 
     def take_outgoing(self) -> list[Action]:
@@ -37,14 +37,14 @@
         self.outgoing = []
         return outgoing
 
-    def table(self, vm: VmId) -> ToldTable:
+    def table(self, vm: VmId) -> PeerLeaseTable:
         """Return what a peer has told, nothing for a new one."""
         table = self.told.get(vm)
         if table is None:
-            table = self.told[vm] = ToldTable(vm)
+            table = self.told[vm] = PeerLeaseTable(vm)
         return table
 
-    def ask(self, table: ToldTable, now: float) -> None:
+    def ask(self, table: PeerLeaseTable, now: float) -> None:
         """Ask a holder for what changed since the version known here."""
         table.requested_at = now
         request = LeaseRequest(self.me.vm, table.version, table.incarnation)
--- a/libs/membership/src/kumquatmux_membership/told.py
+++ b/libs/membership/src/kumquatmux_membership/told.py
@@ -8,7 +8,7 @@
 NEVER = float("-inf")
 
 
-class ToldTable:
+class PeerLeaseTable:
     """One peer's lease table as known here.
 
     Attributes:
