Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/sharing.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -24,8 +24,8 @@
         holder: The leases held here.
     """
 
-    def __init__(self, me: Vm, settings: LeaseSettings, holder: Holder) -> None:
-        self.me = me
+    def __init__(self, local_vm: Vm, settings: LeaseSettings, holder: Holder) -> None:
+        self.me = local_vm
         self.settings = settings
         self.holder = holder
         self.told: dict[VmId, PeerLeaseTable] = {}
