Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/sharing.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -142,7 +142,7 @@
     @_handle_event.register
     def _on_incarnation_raised(self, event: IncarnationRaised, now: float) -> None:
         self.me = self.me._replace(incarnation=event.incarnation)
-        self.sharing.me = self.me
+        self.sharing.local_vm = self.local_vm
 
     @_handle_event.register
     def _on_leave(self, event: Leave, now: float) -> None:
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -25,7 +25,7 @@
     """
 
     def __init__(self, local_vm: Vm, settings: LeaseSettings, holder: Holder) -> None:
-        self.me = local_vm
+        self.local_vm = local_vm
         self.settings = settings
         self.holder = holder
         self.told: dict[VmId, PeerLeaseTable] = {}
@@ -47,7 +47,7 @@
     def ask(self, table: PeerLeaseTable, now: float) -> None:
         """Ask a holder for what changed since the version known here."""
         table.requested_at = now
-        request = LeaseRequest(self.me.vm, table.version, table.incarnation)
+        request = LeaseRequest(self.local_vm.vm, table.version, table.incarnation)
         self.send(table.holder, request)
 
     def push(self, base: int, now: float, skip: set[VmId] | None = None) -> None:
@@ -72,8 +72,8 @@
         else:
             leases = self.holder.changes_since(since)
         update = LeaseUpdate(
-            sender=self.me.vm,
-            incarnation=self.me.incarnation,
+            sender=self.local_vm.vm,
+            incarnation=self.local_vm.incarnation,
             version=self.holder.version,
             is_complete=complete,
             leases=leases,
