Rename told to peer_tables

The lease tables of the peers.

Rename: libs/membership/src/kumquatmux_membership/sharing.py told peer_tables

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -68,7 +68,7 @@
         self.holder = Holder()
         self.known = KnownServers(settings)
         self.sharing = Sharing(me, settings, self.holder)
-        self.told = self.sharing.told
+        self.told = self.sharing.peer_tables
         self.peers: dict[VmId, Vm] = {}
         self.notices = Notices(settings)
         self.freshness = Freshness(settings)
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -28,7 +28,7 @@
         self.local_vm = local_vm
         self.settings = settings
         self.holder = holder
-        self.told: dict[VmId, PeerLeaseTable] = {}
+        self.peer_tables: dict[VmId, PeerLeaseTable] = {}
         self.outgoing: list[Action] = []
 
     def take_outgoing(self) -> list[Action]:
@@ -39,9 +39,9 @@
 
     def table(self, vm: VmId) -> PeerLeaseTable:
         """Return what a peer has told, nothing for a new one."""
-        table = self.told.get(vm)
+        table = self.peer_tables.get(vm)
         if table is None:
-            table = self.told[vm] = PeerLeaseTable(vm)
+            table = self.peer_tables[vm] = PeerLeaseTable(vm)
         return table
 
     def ask(self, table: PeerLeaseTable, now: float) -> None:
@@ -60,7 +60,7 @@
         """
         if self.holder.version == base:
             return
-        for vm in self.told:
+        for vm in self.peer_tables:
             if self._reachable(vm, now) and vm not in (skip or ()):
                 self.send_table(vm, base, ack=False)
 
@@ -89,7 +89,7 @@
     def claimed(self) -> set[ServerId]:
         """Return the servers that anybody holds, as far as known."""
         claimed = set(self.holder.held)
-        for table in self.told.values():
+        for table in self.peer_tables.values():
             claimed.update(table.leases)
         return claimed
 
@@ -97,15 +97,15 @@
         """Forget holders not heard for long; return whether there were any."""
         silent = [
             vm
-            for vm, table in self.told.items()
+            for vm, table in self.peer_tables.items()
             if now - max(table.confirmed_at, table.pending_confirmed_at)
             > self.settings.forget_seconds
         ]
         for vm in silent:
-            del self.told[vm]
+            del self.peer_tables[vm]
         return bool(silent)
 
     def _reachable(self, vm: VmId, now: float) -> bool:
-        table = self.told[vm]
+        table = self.peer_tables[vm]
         latest = max(table.confirmed_at, table.pending_confirmed_at)
         return now - latest <= self.settings.stale_seconds
