--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -106,7 +106,7 @@
         changed = self.freshness.review(self.holder, self.told, self.known, now)
         if changed is not None:
             self.actions.append(changed)
-        return self.actions + self.sharing.take_outgoing()
+        return self.actions + self.sharing.pop_outgoing()
 
     def _expire_leases(self, now: float) -> None:
         base = self.holder.version
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -31,7 +31,7 @@
         self.peer_tables: dict[VmId, PeerLeaseTable] = {}
         self.outgoing: list[Action] = []
 
-    def take_outgoing(self) -> list[Action]:
+    def pop_outgoing(self) -> list[Action]:
         """Return the messages to be sent since the last call."""
         outgoing = self.outgoing
         self.outgoing = []
