Rename table to peer_table

The lease table of a peer.

Rename: libs/membership/src/kumquatmux_membership/sharing.py table peer_table

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -236,7 +236,7 @@
 
     def _current_table(self, vm: VmId, incarnation: int) -> PeerLeaseTable | None:
         """Return the table of a holder's present process, None for an earlier one."""
-        table = self.sharing.table(vm)
+        table = self.sharing.peer_table(vm)
         before = table.incarnation
         if not table.accept_incarnation(incarnation):
             return None
@@ -306,7 +306,9 @@
     def _admission_state(self, now: float) -> Desk:
         started = self.started if self.started is not None else now
         unheard = [
-            vm for vm in self.peers if self.sharing.table(vm).confirmed_at < started
+            vm
+            for vm in self.peers
+            if self.sharing.peer_table(vm).confirmed_at < started
         ]
         warm = now - started >= self.settings.stale_seconds
         return Desk(
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -37,7 +37,7 @@
         self.outgoing = []
         return outgoing
 
-    def table(self, vm: VmId) -> PeerLeaseTable:
+    def peer_table(self, vm: VmId) -> PeerLeaseTable:
         """Return what a peer has told, nothing for a new one."""
         table = self.peer_tables.get(vm)
         if table is None:
