--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -204,7 +204,7 @@
             return
         behind = table.record_echo(message)
         if behind and now - table.requested_at >= self.settings.resend_seconds:
-            self.sharing.ask(table, now)
+            self.sharing.request_changes(table, now)
 
     @_handle_message.register
     def _receive_update(self, message: LeaseUpdate, now: float) -> None:
@@ -212,7 +212,7 @@
         if table is None:
             return
         if not table.apply(message):
-            self.sharing.ask(table, now)
+            self.sharing.request_changes(table, now)
             return
         self.freshness.dirty = True
         base = self.holder.version
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -44,7 +44,7 @@
             table = self.peer_tables[vm] = PeerLeaseTable(vm)
         return table
 
-    def ask(self, table: PeerLeaseTable, now: float) -> None:
+    def request_changes(self, table: PeerLeaseTable, now: float) -> None:
         """Ask a holder for what changed since the version known here."""
         table.requested_at = now
         request = LeaseRequest(self.local_vm.vm, table.version, table.incarnation)
