--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -50,7 +50,9 @@
         request = LeaseRequest(self.local_vm.vm, table.version, table.incarnation)
         self.send(table.holder, request)
 
-    def push(self, base: int, now: float, skip: set[VmId] | None = None) -> None:
+    def push(
+        self, base_version: int, now: float, skip: set[VmId] | None = None
+    ) -> None:
         """Tell reachable peers what changed in our table since a version of it.
 
         Args:
@@ -58,11 +60,11 @@
             now: The time, in seconds.
             skip: Peers that were told already.
         """
-        if self.holder.version == base:
+        if self.holder.version == base_version:
             return
         for vm in self.peer_tables:
             if self._reachable(vm, now) and vm not in (skip or ()):
-                self.send_table(vm, base, ack=False)
+                self.send_table(vm, base_version, ack=False)
 
     def send_table(self, vm: VmId, since: int, *, ack: bool) -> None:
         """Tell a peer what changed since a version, or all where that is forgotten."""
