--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -113,7 +113,7 @@
         for lease in self.holder.expire(now):
             self.freshness.dirty = True
             decisions.log("lease-ended", server=lease.server, service=lease.service)
-        self.sharing.push(base, now)
+        self.sharing.push_changes(base, now)
 
     @singledispatchmethod
     def _handle_event(self, event: Any, now: float) -> None:
@@ -169,7 +169,7 @@
             expires = max(expires, own.expires)
         base = self.holder.version
         self._hold(lease, expires, now)
-        self.sharing.push(base, now)
+        self.sharing.push_changes(base, now)
         self._answer(lease.server, LeaseState.GRANTED, now)
 
     def _at_latest_phase(self, lease: Lease, phase: Phase) -> Lease:
@@ -218,7 +218,7 @@
         base = self.holder.version
         for lease in message.leases:
             self._merge_lease(lease, now)
-        self.sharing.push(base, now)
+        self.sharing.push_changes(base, now)
         if message.ack_requested:
             ack = LeaseAck(self.me.vm, table.incarnation, table.version)
             self.sharing.send(message.sender, ack)
@@ -296,7 +296,7 @@
         self.notices.add(lease, self.holder.version, set(witnesses), now)
         for vm in sorted(witnesses):
             self.sharing.send_table(vm, base, ack=True)
-        self.sharing.push(base, now, skip=witnesses)
+        self.sharing.push_changes(base, now, skip=witnesses)
 
     def _possible_holders(self, lease: Lease) -> set[VmId]:
         """Return the VMs that may hold a server: those of its zone, if it is known."""
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -50,7 +50,7 @@
         request = LeaseRequest(self.local_vm.vm, table.version, table.incarnation)
         self.send(table.holder, request)
 
-    def push(
+    def push_changes(
         self, base_version: int, now: float, skip: set[VmId] | None = None
     ) -> None:
         """Tell reachable peers what changed in our table since a version of it.
