Rename since to since_version

It is a version of the table.

Rename: libs/membership/src/kumquatmux_membership/sharing.py since since_version

--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -66,20 +66,20 @@
             if self._reachable(vm, now) and vm not in (skip or ()):
                 self.send_table(vm, base_version, ack=False)
 
-    def send_table(self, vm: VmId, since: int, *, ack: bool) -> None:
+    def send_table(self, vm: VmId, since_version: int, *, ack: bool) -> None:
         """Tell a peer what changed since a version, or all where that is forgotten."""
-        complete = since == 0 or since < self.holder.pruned
+        complete = since_version == 0 or since_version < self.holder.pruned
         if complete:
             leases = self.holder.all_leases()
         else:
-            leases = self.holder.changes_since(since)
+            leases = self.holder.changes_since(since_version)
         update = LeaseUpdate(
             sender=self.local_vm.vm,
             incarnation=self.local_vm.incarnation,
             version=self.holder.version,
             is_complete=complete,
             leases=leases,
-            base_version=since,
+            base_version=since_version,
             ack_requested=ack,
         )
         self.send(vm, update)
