--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -122,7 +122,7 @@
     @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
         for vm in self.notices.due(now):
-            self.sharing.send_table(vm, self.notices.base(vm), ack_requested=True)
+            self.sharing.send_update(vm, self.notices.base(vm), ack_requested=True)
         if now < self.next_housekeeping:
             return
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
@@ -227,7 +227,7 @@
     def _receive_request(self, message: LeaseRequest, now: float) -> None:
         mine = message.incarnation == self.me.incarnation
         since = message.since_version if mine else 0
-        self.sharing.send_table(message.sender, since, ack_requested=False)
+        self.sharing.send_update(message.sender, since, ack_requested=False)
 
     @_handle_message.register
     def _receive_ack(self, message: LeaseAck, now: float) -> None:
@@ -295,7 +295,7 @@
         witnesses = self._possible_holders(lease)
         self.notices.add(lease, self.holder.version, set(witnesses), now)
         for vm in sorted(witnesses):
-            self.sharing.send_table(vm, base, ack_requested=True)
+            self.sharing.send_update(vm, base, ack_requested=True)
         self.sharing.push_changes(base, now, skip=witnesses)
 
     def _possible_holders(self, lease: Lease) -> set[VmId]:
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -64,9 +64,9 @@
             return
         for vm in self.peer_tables:
             if self._reachable(vm, now) and vm not in (skip or ()):
-                self.send_table(vm, base_version, ack_requested=False)
+                self.send_update(vm, base_version, ack_requested=False)
 
-    def send_table(self, vm: VmId, since_version: int, *, ack_requested: bool) -> None:
+    def send_update(self, vm: VmId, since_version: int, *, ack_requested: bool) -> None:
         """Tell a peer what changed since a version, or all where that is forgotten."""
         complete = since_version == 0 or since_version < self.holder.pruned
         if complete:
