Rename claimed to held_servers

Returns the servers that are held.

Rename: libs/membership/src/kumquatmux_membership/sharing.py claimed held_servers

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -127,7 +127,7 @@
             return
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
         self.freshness.dirty |= self.sharing.drop_silent(now)
-        for server in self.sharing.claimed():
+        for server in self.sharing.held_servers():
             self.known.seen(server, now)
         before = now - self.settings.retired_seconds
         self.holder.prune(before)
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -88,7 +88,7 @@
         """Send a message with the next actions."""
         self.outgoing.append(SendMessage(vm, message))
 
-    def claimed(self) -> set[ServerId]:
+    def held_servers(self) -> set[ServerId]:
         """Return the servers that anybody holds, as far as known."""
         claimed = set(self.holder.held)
         for table in self.peer_tables.values():
