--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -90,10 +90,10 @@
 
     def held_servers(self) -> set[ServerId]:
         """Return the servers that anybody holds, as far as known."""
-        claimed = set(self.holder.held)
+        servers = set(self.holder.held)
         for table in self.peer_tables.values():
-            claimed.update(table.leases)
-        return claimed
+            servers.update(table.leases)
+        return servers
 
     def drop_silent(self, now: float) -> bool:
         """Forget holders not heard for long; return whether there were any."""
