Rename drop_silent to drop_silent_holders

Says what is dropped.

Rename: libs/membership/src/kumquatmux_membership/sharing.py drop_silent drop_silent_holders

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -126,7 +126,7 @@
         if now < self.next_housekeeping:
             return
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
-        self.freshness.dirty |= self.sharing.drop_silent(now)
+        self.freshness.dirty |= self.sharing.drop_silent_holders(now)
         for server in self.sharing.held_servers():
             self.known.seen(server, now)
         before = now - self.settings.retired_seconds
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -95,7 +95,7 @@
             servers.update(table.leases)
         return servers
 
-    def drop_silent(self, now: float) -> bool:
+    def drop_silent_holders(self, now: float) -> bool:
         """Forget holders not heard for long; return whether there were any."""
         silent = [
             vm
