--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -109,5 +109,5 @@
 
     def _reachable(self, vm: VmId, now: float) -> bool:
         table = self.peer_tables[vm]
-        latest = max(table.confirmed_at, table.pending_confirmed_at)
-        return now - latest <= self.settings.stale_seconds
+        last_contact = max(table.confirmed_at, table.pending_confirmed_at)
+        return now - last_contact <= self.settings.stale_seconds
