--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -47,7 +47,7 @@
     session_of,
 )
 from kumquatmux_membership.settings import LeaseSettings
-from kumquatmux_membership.sharing import Sharing
+from kumquatmux_membership.sharing import LeaseExchange
 from kumquatmux_membership.stamps import echoes_own_timestamp
 from kumquatmux_membership.told import PeerLeaseTable
 
@@ -67,7 +67,7 @@
         self.settings = settings = settings.bounded
         self.holder = Holder()
         self.known = KnownServers(settings)
-        self.sharing = Sharing(me, settings, self.holder)
+        self.sharing = LeaseExchange(me, settings, self.holder)
         self.told = self.sharing.peer_tables
         self.peers: dict[VmId, Vm] = {}
         self.notices = Notices(settings)
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -15,7 +15,7 @@
 from kumquatmux_membership.told import PeerLeaseTable
 
 
-class Sharing:
+class LeaseExchange:
     """The exchange of lease tables with the other VMs.
 
     Args:
