--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -67,8 +67,8 @@
         self.settings = settings = settings.bounded
         self.holder = Holder()
         self.known = KnownServers(settings)
-        self.sharing = LeaseExchange(me, settings, self.holder)
-        self.told = self.sharing.peer_tables
+        self.exchange = LeaseExchange(me, settings, self.holder)
+        self.told = self.exchange.peer_tables
         self.peers: dict[VmId, Vm] = {}
         self.notices = Notices(settings)
         self.freshness = Freshness(settings)
@@ -85,7 +85,7 @@
     def use_settings(self, settings: LeaseSettings) -> None:
         """Bring other periods into force; leases that run keep their end."""
         self.settings = settings = settings.bounded
-        for part in (self.known, self.notices, self.freshness, self.sharing):
+        for part in (self.known, self.notices, self.freshness, self.exchange):
             part.settings = settings
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -106,14 +106,14 @@
         changed = self.freshness.review(self.holder, self.told, self.known, now)
         if changed is not None:
             self.actions.append(changed)
-        return self.actions + self.sharing.pop_outgoing()
+        return self.actions + self.exchange.pop_outgoing()
 
     def _expire_leases(self, now: float) -> None:
         base = self.holder.version
         for lease in self.holder.expire(now):
             self.freshness.dirty = True
             decisions.log("lease-ended", server=lease.server, service=lease.service)
-        self.sharing.push_changes(base, now)
+        self.exchange.push_changes(base, now)
 
     @singledispatchmethod
     def _handle_event(self, event: Any, now: float) -> None:
@@ -122,12 +122,12 @@
     @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
         for vm in self.notices.due(now):
-            self.sharing.send_update(vm, self.notices.base(vm), ack_requested=True)
+            self.exchange.send_update(vm, self.notices.base(vm), ack_requested=True)
         if now < self.next_housekeeping:
             return
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
-        self.freshness.dirty |= self.sharing.drop_silent_holders(now)
-        for server in self.sharing.held_servers():
+        self.freshness.dirty |= self.exchange.drop_silent_holders(now)
+        for server in self.exchange.held_servers():
             self.known.seen(server, now)
         before = now - self.settings.retired_seconds
         self.holder.prune(before)
@@ -142,7 +142,7 @@
     @_handle_event.register
     def _on_incarnation_raised(self, event: IncarnationRaised, now: float) -> None:
         self.me = self.me._replace(incarnation=event.incarnation)
-        self.sharing.local_vm = self.local_vm
+        self.exchange.local_vm = self.local_vm
 
     @_handle_event.register
     def _on_leave(self, event: Leave, now: float) -> None:
@@ -169,7 +169,7 @@
             expires = max(expires, own.expires)
         base = self.holder.version
         self._hold(lease, expires, now)
-        self.sharing.push_changes(base, now)
+        self.exchange.push_changes(base, now)
         self._answer(lease.server, LeaseState.GRANTED, now)
 
     def _at_latest_phase(self, lease: Lease, phase: Phase) -> Lease:
@@ -204,7 +204,7 @@
             return
         behind = table.record_echo(message)
         if behind and now - table.requested_at >= self.settings.resend_seconds:
-            self.sharing.request_changes(table, now)
+            self.exchange.request_changes(table, now)
 
     @_handle_message.register
     def _receive_update(self, message: LeaseUpdate, now: float) -> None:
@@ -212,22 +212,22 @@
         if table is None:
             return
         if not table.apply(message):
-            self.sharing.request_changes(table, now)
+            self.exchange.request_changes(table, now)
             return
         self.freshness.dirty = True
         base = self.holder.version
         for lease in message.leases:
             self._merge_lease(lease, now)
-        self.sharing.push_changes(base, now)
+        self.exchange.push_changes(base, now)
         if message.ack_requested:
             ack = LeaseAck(self.me.vm, table.incarnation, table.version)
-            self.sharing.send(message.sender, ack)
+            self.exchange.send(message.sender, ack)
 
     @_handle_message.register
     def _receive_request(self, message: LeaseRequest, now: float) -> None:
         mine = message.incarnation == self.me.incarnation
         since = message.since_version if mine else 0
-        self.sharing.send_update(message.sender, since, ack_requested=False)
+        self.exchange.send_update(message.sender, since, ack_requested=False)
 
     @_handle_message.register
     def _receive_ack(self, message: LeaseAck, now: float) -> None:
@@ -236,7 +236,7 @@
 
     def _current_table(self, vm: VmId, incarnation: int) -> PeerLeaseTable | None:
         """Return the table of a holder's present process, None for an earlier one."""
-        table = self.sharing.peer_table(vm)
+        table = self.exchange.peer_table(vm)
         before = table.incarnation
         if not table.accept_incarnation(incarnation):
             return None
@@ -295,8 +295,8 @@
         witnesses = self._possible_holders(lease)
         self.notices.add(lease, self.holder.version, set(witnesses), now)
         for vm in sorted(witnesses):
-            self.sharing.send_update(vm, base, ack_requested=True)
-        self.sharing.push_changes(base, now, skip=witnesses)
+            self.exchange.send_update(vm, base, ack_requested=True)
+        self.exchange.push_changes(base, now, skip=witnesses)
 
     def _possible_holders(self, lease: Lease) -> set[VmId]:
         """Return the VMs that may hold a server: those of its zone, if it is known."""
@@ -308,7 +308,7 @@
         unheard = [
             vm
             for vm in self.peers
-            if self.sharing.peer_table(vm).confirmed_at < started
+            if self.exchange.peer_table(vm).confirmed_at < started
         ]
         warm = now - started >= self.settings.stale_seconds
         return Desk(
