--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -18,7 +18,7 @@
     """
 
     lease: Lease
-    expires: float
+    expires_at: float
     changed: int
 
 
@@ -75,10 +75,10 @@
         """Let go and return the leases whose time is over."""
         if now < self.next_expiry:
             return []
-        ended = [entry.lease for entry in self.held.values() if entry.expires <= now]
+        ended = [entry.lease for entry in self.held.values() if entry.expires_at <= now]
         for lease in ended:
             self.release(lease.server, now)
-        remaining = (entry.expires for entry in self.held.values())
+        remaining = (entry.expires_at for entry in self.held.values())
         self.next_expiry = min(remaining, default=float("inf"))
         return ended
 
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -166,7 +166,7 @@
         expires = stamp + self.settings.lease_seconds
         own = self.holder.held.get(lease.server)
         if own is not None and _same_session(own.lease, lease):
-            expires = max(expires, own.expires)
+            expires = max(expires, own.expires_at)
         base = self.holder.version
         self._hold(lease, expires, now)
         self.exchange.push_changes(base, now)
@@ -254,7 +254,7 @@
             return
         if _same_session(own.lease, lease):
             moved = at_phase(own.lease, phase_of(lease.version))
-            self.holder.hold(moved, own.expires)
+            self.holder.hold(moved, own.expires_at)
         else:
             self.holder.release(lease.server, now)
 
@@ -287,7 +287,7 @@
 
     def _start_retirement(self, lease: Lease, now: float) -> None:
         own = self.holder.held.get(lease.server)
-        expires = own.expires if own else now + self.settings.lease_seconds
+        expires = own.expires_at if own else now + self.settings.lease_seconds
         if phase_of(lease.version) == Phase.LEFT:
             expires = now + self.settings.retired_seconds
         base = self.holder.version
