--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -53,7 +53,7 @@
         self.pruned = 0
         self.next_expiry = float("inf")
 
-    def hold(self, lease: Lease, expires: float) -> bool:
+    def hold(self, lease: Lease, expires_at: float) -> bool:
         """Hold or renew a lease; return whether peers have to know."""
         before = self.held.get(lease.server)
         changed = before is None or essence(before.lease) != essence(lease)
@@ -61,8 +61,8 @@
             self.version += 1
             self.released.pop(lease.server, None)
         version = self.version if changed or before is None else before.changed
-        self.held[lease.server] = HeldLease(lease, expires, version)
-        self.next_expiry = min(self.next_expiry, expires)
+        self.held[lease.server] = HeldLease(lease, expires_at, version)
+        self.next_expiry = min(self.next_expiry, expires_at)
         return changed
 
     def release(self, server: ServerId, now: float) -> None:
