Rename changed to changed_version

It is a version of the table; HeldLease.

Rename: libs/membership/src/kumquatmux_membership/holder.py changed changed_version

--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -19,7 +19,7 @@
 
     lease: Lease
     expires_at: float
-    changed: int
+    changed_version: int
 
 
 class Release(NamedTuple):
@@ -60,7 +60,7 @@
         if changed:
             self.version += 1
             self.released.pop(lease.server, None)
-        version = self.version if changed or before is None else before.changed
+        version = self.version if changed or before is None else before.changed_version
         self.held[lease.server] = HeldLease(lease, expires_at, version)
         self.next_expiry = min(self.next_expiry, expires_at)
         return changed
@@ -91,7 +91,11 @@
 
     def changes_since(self, version: int) -> tuple[Lease, ...]:
         """Return what changed after a version, releases as not held."""
-        held = [entry.lease for entry in self.held.values() if entry.changed > version]
+        held = [
+            entry.lease
+            for entry in self.held.values()
+            if entry.changed_version > version
+        ]
         gone = [
             entry.lease._replace(held=False)
             for entry in self.released.values()
