--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -22,7 +22,7 @@
     changed_version: int
 
 
-class Release(NamedTuple):
+class ReleasedLease(NamedTuple):
     """A lease no longer held here.
 
     Attributes:
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         self.version = 0
         self.held: dict[ServerId, HeldLease] = {}
-        self.released: dict[ServerId, Release] = {}
+        self.released: dict[ServerId, ReleasedLease] = {}
         self.pruned = 0
         self.next_expiry = float("inf")
 
@@ -69,7 +69,7 @@
         """Let a lease go."""
         entry = self.held.pop(server)
         self.version += 1
-        self.released[server] = Release(entry.lease, self.version, now)
+        self.released[server] = ReleasedLease(entry.lease, self.version, now)
 
     def expire(self, now: float) -> list[Lease]:
         """Let go and return the leases whose time is over."""
