Rename changed to released_version

It is a version of the table; ReleasedLease.

Rename: libs/membership/src/kumquatmux_membership/holder.py changed released_version

--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -32,7 +32,7 @@
     """
 
     lease: Lease
-    changed: int
+    released_version: int
     at: float
 
 
@@ -87,7 +87,7 @@
         old = [entry for entry in self.released.values() if entry.at < before]
         for entry in old:
             del self.released[entry.lease.server]
-            self.pruned = max(self.pruned, entry.changed)
+            self.pruned = max(self.pruned, entry.released_version)
 
     def changes_since(self, version: int) -> tuple[Lease, ...]:
         """Return what changed after a version, releases as not held."""
@@ -99,7 +99,7 @@
         gone = [
             entry.lease._replace(held=False)
             for entry in self.released.values()
-            if entry.changed > version
+            if entry.released_version > version
         ]
         return tuple(held + gone)
 
