--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -33,7 +33,7 @@
 
     lease: Lease
     released_version: int
-    at: float
+    released_at: float
 
 
 class Holder:
@@ -84,7 +84,7 @@
 
     def prune(self, before: float) -> None:
         """Forget releases older than a time."""
-        old = [entry for entry in self.released.values() if entry.at < before]
+        old = [entry for entry in self.released.values() if entry.released_at < before]
         for entry in old:
             del self.released[entry.lease.server]
             self.pruned = max(self.pruned, entry.released_version)
