Rename pruned to pruned_version

It is a version of the table.

Rename: libs/membership/src/kumquatmux_membership/holder.py pruned pruned_version

--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -50,7 +50,7 @@
         self.version = 0
         self.held: dict[ServerId, HeldLease] = {}
         self.released: dict[ServerId, ReleasedLease] = {}
-        self.pruned = 0
+        self.pruned_version = 0
         self.next_expiry = float("inf")
 
     def hold(self, lease: Lease, expires_at: float) -> bool:
@@ -87,7 +87,7 @@
         old = [entry for entry in self.released.values() if entry.released_at < before]
         for entry in old:
             del self.released[entry.lease.server]
-            self.pruned = max(self.pruned, entry.released_version)
+            self.pruned_version = max(self.pruned_version, entry.released_version)
 
     def changes_since(self, version: int) -> tuple[Lease, ...]:
         """Return what changed after a version, releases as not held."""
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -68,7 +68,7 @@
 
     def send_update(self, vm: VmId, since_version: int, *, ack_requested: bool) -> None:
         """Tell a peer what changed since a version, or all where that is forgotten."""
-        complete = since_version == 0 or since_version < self.holder.pruned
+        complete = since_version == 0 or since_version < self.holder.pruned_version
         if complete:
             leases = self.holder.all_leases()
         else:
