Rename released to released_leases

They are leases.

Rename: libs/membership/src/kumquatmux_membership/holder.py released released_leases

--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         self.version = 0
         self.held: dict[ServerId, HeldLease] = {}
-        self.released: dict[ServerId, ReleasedLease] = {}
+        self.released_leases: dict[ServerId, ReleasedLease] = {}
         self.pruned_version = 0
         self.next_expiry = float("inf")
 
@@ -59,7 +59,7 @@
         changed = before is None or essence(before.lease) != essence(lease)
         if changed:
             self.version += 1
-            self.released.pop(lease.server, None)
+            self.released_leases.pop(lease.server, None)
         version = self.version if changed or before is None else before.changed_version
         self.held[lease.server] = HeldLease(lease, expires_at, version)
         self.next_expiry = min(self.next_expiry, expires_at)
@@ -69,7 +69,7 @@
         """Let a lease go."""
         entry = self.held.pop(server)
         self.version += 1
-        self.released[server] = ReleasedLease(entry.lease, self.version, now)
+        self.released_leases[server] = ReleasedLease(entry.lease, self.version, now)
 
     def expire(self, now: float) -> list[Lease]:
         """Let go and return the leases whose time is over."""
@@ -84,9 +84,13 @@
 
     def prune(self, before: float) -> None:
         """Forget releases older than a time."""
-        old = [entry for entry in self.released.values() if entry.released_at < before]
+        old = [
+            entry
+            for entry in self.released_leases.values()
+            if entry.released_at < before
+        ]
         for entry in old:
-            del self.released[entry.lease.server]
+            del self.released_leases[entry.lease.server]
             self.pruned_version = max(self.pruned_version, entry.released_version)
 
     def changes_since(self, version: int) -> tuple[Lease, ...]:
@@ -98,7 +102,7 @@
         ]
         gone = [
             entry.lease._replace(held=False)
-            for entry in self.released.values()
+            for entry in self.released_leases.values()
             if entry.released_version > version
         ]
         return tuple(held + gone)
