Rename before to previous

The previous entry. Made with rename.py; every use follows, behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/holder.py before previous

--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -55,12 +55,14 @@
 
     def hold(self, lease: Lease, expires_at: float) -> bool:
         """Hold or renew a lease; return whether peers have to know."""
-        before = self.held.get(lease.server)
-        changed = before is None or essence(before.lease) != essence(lease)
+        previous = self.held.get(lease.server)
+        changed = previous is None or essence(previous.lease) != essence(lease)
         if changed:
             self.version += 1
             self.released_leases.pop(lease.server, None)
-        version = self.version if changed or before is None else before.changed_version
+        version = (
+            self.version if changed or previous is None else previous.changed_version
+        )
         self.held[lease.server] = HeldLease(lease, expires_at, version)
         self.next_expiry = min(self.next_expiry, expires_at)
         return changed
