--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -77,12 +77,14 @@
         """Let go and return the leases whose time is over."""
         if now < self.next_expiry:
             return []
-        ended = [entry.lease for entry in self.held.values() if entry.expires_at <= now]
-        for lease in ended:
+        expired = [
+            entry.lease for entry in self.held.values() if entry.expires_at <= now
+        ]
+        for lease in expired:
             self.release(lease.server, now)
         remaining = (entry.expires_at for entry in self.held.values())
         self.next_expiry = min(remaining, default=float("inf"))
-        return ended
+        return expired
 
     def prune(self, before: float) -> None:
         """Forget releases older than a time."""
