Rename before to cutoff

Usual term for a time limit.

Rename: libs/membership/src/kumquatmux_membership/holder.py before cutoff

--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -86,12 +86,12 @@
         self.next_expiry = min(remaining, default=float("inf"))
         return expired
 
-    def prune(self, before: float) -> None:
+    def prune(self, cutoff: float) -> None:
         """Forget releases older than a time."""
         old = [
             entry
             for entry in self.released_leases.values()
-            if entry.released_at < before
+            if entry.released_at < cutoff
         ]
         for entry in old:
             del self.released_leases[entry.lease.server]
