Rename old to outdated

Entries older than the cutoff.

Rename: libs/membership/src/kumquatmux_membership/holder.py old outdated

--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -88,12 +88,12 @@
 
     def prune(self, cutoff: float) -> None:
         """Forget releases older than a time."""
-        old = [
+        outdated = [
             entry
             for entry in self.released_leases.values()
             if entry.released_at < cutoff
         ]
-        for entry in old:
+        for entry in outdated:
             del self.released_leases[entry.lease.server]
             self.pruned_version = max(self.pruned_version, entry.released_version)
 
