--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -104,12 +104,12 @@
             for entry in self.held.values()
             if entry.changed_version > version
         ]
-        gone = [
+        released = [
             entry.lease._replace(held=False)
             for entry in self.released_leases.values()
             if entry.released_version > version
         ]
-        return tuple(held + gone)
+        return tuple(held + released)
 
     def all_leases(self) -> tuple[Lease, ...]:
         """Return every lease held."""
