Rename essence to without_load_report

Says what is left out.

Rename: libs/membership/src/kumquatmux_membership/holder.py essence without_load_report

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -5,7 +5,7 @@
 from kumquatmux_core import decisions
 from kumquatmux_core.identity import ServerId, ServiceName, VmId
 from kumquatmux_membership.events import Lease, ServersChanged
-from kumquatmux_membership.holder import Holder, essence
+from kumquatmux_membership.holder import Holder, without_load_report
 from kumquatmux_membership.known import KnownServers
 from kumquatmux_membership.phases import Phase, phase_of
 from kumquatmux_membership.settings import LeaseSettings
@@ -97,5 +97,5 @@
         told = claims.get(server, set())
         services = {service for _, service in told}
         confirmed = (lease.version, lease.service) in told and len(services) == 1
-        (fresh if confirmed else stale).append(essence(lease))
+        (fresh if confirmed else stale).append(without_load_report(lease))
     return ServersChanged(tuple(fresh), tuple(stale))
--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -56,7 +56,9 @@
     def hold(self, lease: Lease, expires_at: float) -> bool:
         """Hold or renew a lease; return whether peers have to know."""
         previous = self.held.get(lease.server)
-        changed = previous is None or essence(previous.lease) != essence(lease)
+        changed = previous is None or without_load_report(
+            previous.lease
+        ) != without_load_report(lease)
         if changed:
             self.version += 1
             self.released_leases.pop(lease.server, None)
@@ -116,6 +118,6 @@
         return tuple(entry.lease for entry in self.held.values())
 
 
-def essence(lease: Lease) -> Lease:
+def without_load_report(lease: Lease) -> Lease:
     """Return a lease without its load report, which is not worth telling."""
     return lease._replace(busy=-1, open=-1)
