Rename holder to held_lease_table

It is the table of leases held; Sharing.

Rename: libs/membership/src/kumquatmux_membership/sharing.py holder held_lease_table

--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -27,7 +27,7 @@
     def __init__(self, local_vm: Vm, settings: LeaseSettings, holder: Holder) -> None:
         self.local_vm = local_vm
         self.settings = settings
-        self.holder = holder
+        self.held_lease_table = holder
         self.peer_tables: dict[VmId, PeerLeaseTable] = {}
         self.outgoing: list[Action] = []
 
@@ -60,7 +60,7 @@
             now: The time, in seconds.
             skip: Peers that were told already.
         """
-        if self.holder.version == base_version:
+        if self.held_lease_table.version == base_version:
             return
         for vm in self.peer_tables:
             if self._reachable(vm, now) and vm not in (skip or ()):
@@ -68,15 +68,17 @@
 
     def send_update(self, vm: VmId, since_version: int, *, ack_requested: bool) -> None:
         """Tell a peer what changed since a version, or all where that is forgotten."""
-        complete = since_version == 0 or since_version < self.holder.pruned_version
+        complete = (
+            since_version == 0 or since_version < self.held_lease_table.pruned_version
+        )
         if complete:
-            leases = self.holder.all_leases()
+            leases = self.held_lease_table.all_leases()
         else:
-            leases = self.holder.changes_since(since_version)
+            leases = self.held_lease_table.changes_since(since_version)
         update = LeaseUpdate(
             sender=self.local_vm.vm,
             incarnation=self.local_vm.incarnation,
-            version=self.holder.version,
+            version=self.held_lease_table.version,
             is_complete=complete,
             leases=leases,
             base_version=since_version,
@@ -90,7 +92,7 @@
 
     def held_servers(self) -> set[ServerId]:
         """Return the servers that anybody holds, as far as known."""
-        servers = set(self.holder.held)
+        servers = set(self.held_lease_table.held)
         for table in self.peer_tables.values():
             servers.update(table.leases)
         return servers
