--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -24,10 +24,12 @@
         holder: The leases held here.
     """
 
-    def __init__(self, local_vm: Vm, settings: LeaseSettings, holder: Holder) -> None:
+    def __init__(
+        self, local_vm: Vm, settings: LeaseSettings, held_lease_table: Holder
+    ) -> None:
         self.local_vm = local_vm
         self.settings = settings
-        self.held_lease_table = holder
+        self.held_lease_table = held_lease_table
         self.peer_tables: dict[VmId, PeerLeaseTable] = {}
         self.outgoing: list[Action] = []
 
