--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -76,7 +76,7 @@
 ) -> Result[Lease, Problem]:
     session = session_of(lease.version)
     latest = session_of(known.lease.version)
-    held_lately = now - known.at < settings.address_hold_seconds
+    held_lately = now - known.last_held_at < settings.address_hold_seconds
     if lease.service != known.lease.service and held_lately:
         return _refuse(lease, "address-taken", "another service uses this address")
     if session < latest:
--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -19,7 +19,7 @@
     """
 
     lease: Lease
-    at: float
+    last_held_at: float
 
 
 class KnownServers:
@@ -46,13 +46,13 @@
             return
         at = now
         if phase_of(lease.version) == Phase.LEFT and before is not None:
-            at = before.at
+            at = before.last_held_at
         self.servers[lease.server] = KnownServer(lease, at)
 
     def _belongs_elsewhere(self, lease: Lease, before: KnownServer, now: float) -> bool:
         if lease.service == before.lease.service:
             return False
-        return now - before.at < self.settings.address_hold_seconds
+        return now - before.last_held_at < self.settings.address_hold_seconds
 
     def seen(self, server: ServerId, now: float) -> None:
         """Note that a server which has not left is still held."""
@@ -62,7 +62,9 @@
 
     def prune(self, before: float) -> bool:
         """Forget servers that nobody has held since; return whether any went."""
-        old = [name for name, entry in self.servers.items() if entry.at < before]
+        old = [
+            name for name, entry in self.servers.items() if entry.last_held_at < before
+        ]
         for name in old:
             del self.servers[name]
         return bool(old)
