Rename at to last_held_at

When the server was last held.

Rename: libs/membership/src/kumquatmux_membership/known.py at last_held_at

--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -44,10 +44,10 @@
             return
         if before is not None and self._belongs_elsewhere(lease, before, now):
             return
-        at = now
+        last_held_at = now
         if phase_of(lease.version) == Phase.LEFT and before is not None:
-            at = before.last_held_at
-        self.servers[lease.server] = KnownServer(lease, at)
+            last_held_at = before.last_held_at
+        self.servers[lease.server] = KnownServer(lease, last_held_at)
 
     def _belongs_elsewhere(self, lease: Lease, before: KnownServer, now: float) -> bool:
         if lease.service == before.lease.service:
