--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -39,14 +39,14 @@
 
     def merge(self, lease: Lease, now: float) -> None:
         """Take a lease that somebody holds now."""
-        before = self.servers.get(lease.server)
-        if before is not None and before.lease.version > lease.version:
+        previous = self.servers.get(lease.server)
+        if previous is not None and previous.lease.version > lease.version:
             return
-        if before is not None and self._belongs_elsewhere(lease, before, now):
+        if previous is not None and self._belongs_elsewhere(lease, previous, now):
             return
         last_held_at = now
-        if phase_of(lease.version) == Phase.LEFT and before is not None:
-            last_held_at = before.last_held_at
+        if phase_of(lease.version) == Phase.LEFT and previous is not None:
+            last_held_at = previous.last_held_at
         self.servers[lease.server] = KnownServer(lease, last_held_at)
 
     def _belongs_elsewhere(self, lease: Lease, before: KnownServer, now: float) -> bool:
