--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -49,10 +49,12 @@
             last_held_at = previous.last_held_at
         self.servers[lease.server] = KnownServer(lease, last_held_at)
 
-    def _belongs_elsewhere(self, lease: Lease, before: KnownServer, now: float) -> bool:
-        if lease.service == before.lease.service:
+    def _belongs_elsewhere(
+        self, lease: Lease, previous: KnownServer, now: float
+    ) -> bool:
+        if lease.service == previous.lease.service:
             return False
-        return now - before.last_held_at < self.settings.address_hold_seconds
+        return now - previous.last_held_at < self.settings.address_hold_seconds
 
     def seen(self, server: ServerId, now: float) -> None:
         """Note that a server which has not left is still held."""
