--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -42,14 +42,14 @@
         previous = self.servers.get(lease.server)
         if previous is not None and previous.lease.version > lease.version:
             return
-        if previous is not None and self._belongs_elsewhere(lease, previous, now):
+        if previous is not None and self._held_by_other_service(lease, previous, now):
             return
         last_held_at = now
         if phase_of(lease.version) == Phase.LEFT and previous is not None:
             last_held_at = previous.last_held_at
         self.servers[lease.server] = KnownServer(lease, last_held_at)
 
-    def _belongs_elsewhere(
+    def _held_by_other_service(
         self, lease: Lease, previous: KnownServer, now: float
     ) -> bool:
         if lease.service == previous.lease.service:
