--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -56,7 +56,7 @@
             return False
         return now - previous.last_held_at < self.settings.address_hold_seconds
 
-    def seen(self, server: ServerId, now: float) -> None:
+    def mark_held(self, server: ServerId, now: float) -> None:
         """Note that a server which has not left is still held."""
         entry = self.servers.get(server)
         if entry is not None and phase_of(entry.lease.version) != Phase.LEFT:
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -128,7 +128,7 @@
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
         self.freshness.dirty |= self.exchange.drop_silent_holders(now)
         for server in self.exchange.held_servers():
-            self.known.seen(server, now)
+            self.known.mark_held(server, now)
         before = now - self.settings.retired_seconds
         self.holder.prune(before)
         self.notices.prune(before)
