Rename before to cutoff

Usual term for a time limit.

Rename: libs/membership/src/kumquatmux_membership/known.py before cutoff

--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -62,10 +62,10 @@
         if entry is not None and phase_of(entry.lease.version) != Phase.LEFT:
             self.servers[server] = entry._replace(at=now)
 
-    def prune(self, before: float) -> bool:
+    def prune(self, cutoff: float) -> bool:
         """Forget servers that nobody has held since; return whether any went."""
         old = [
-            name for name, entry in self.servers.items() if entry.last_held_at < before
+            name for name, entry in self.servers.items() if entry.last_held_at < cutoff
         ]
         for name in old:
             del self.servers[name]
