Rename old to outdated

Entries older than the cutoff.

Rename: libs/membership/src/kumquatmux_membership/known.py old outdated

--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -64,9 +64,9 @@
 
     def prune(self, cutoff: float) -> bool:
         """Forget servers that nobody has held since; return whether any went."""
-        old = [
+        outdated = [
             name for name, entry in self.servers.items() if entry.last_held_at < cutoff
         ]
-        for name in old:
+        for name in outdated:
             del self.servers[name]
-        return bool(old)
+        return bool(outdated)
