--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -67,6 +67,6 @@
         outdated = [
             name for name, entry in self.servers.items() if entry.last_held_at < cutoff
         ]
-        for name in outdated:
-            del self.servers[name]
+        for server in outdated:
+            del self.servers[server]
         return bool(outdated)
