--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -66,7 +66,7 @@
         self.me = me
         self.settings = settings = settings.bounded
         self.holder = Holder()
-        self.known = KnownServers(settings)
+        self.known_servers = KnownServers(settings)
         self.exchange = LeaseExchange(me, settings, self.holder)
         self.told = self.exchange.peer_tables
         self.peers: dict[VmId, Vm] = {}
@@ -85,7 +85,7 @@
     def use_settings(self, settings: LeaseSettings) -> None:
         """Bring other periods into force; leases that run keep their end."""
         self.settings = settings = settings.bounded
-        for part in (self.known, self.notices, self.freshness, self.exchange):
+        for part in (self.known_servers, self.notices, self.freshness, self.exchange):
             part.settings = settings
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -103,7 +103,7 @@
             self.started = now
         self._expire_leases(now)
         self._handle_event(event, now)
-        changed = self.freshness.review(self.holder, self.told, self.known, now)
+        changed = self.freshness.review(self.holder, self.told, self.known_servers, now)
         if changed is not None:
             self.actions.append(changed)
         return self.actions + self.exchange.pop_outgoing()
@@ -128,11 +128,11 @@
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
         self.freshness.dirty |= self.exchange.drop_silent_holders(now)
         for server in self.exchange.held_servers():
-            self.known.mark_held(server, now)
+            self.known_servers.mark_held(server, now)
         before = now - self.settings.retired_seconds
         self.holder.prune(before)
         self.notices.prune(before)
-        if self.known.prune(before):
+        if self.known_servers.prune(before):
             self.freshness.dirty = True
 
     @_handle_event.register
@@ -150,7 +150,7 @@
 
     @_handle_event.register
     def _on_announce(self, event: Announce, now: float) -> None:
-        known = self.known.get(event.lease.server)
+        known = self.known_servers.get(event.lease.server)
         match check_announce(
             event, known, self._admission_state(now), self.settings, now
         ):
@@ -174,7 +174,7 @@
 
     def _at_latest_phase(self, lease: Lease, phase: Phase) -> Lease:
         """Return a lease at a phase, or at a later one that its session reached."""
-        known = self.known.get(lease.server)
+        known = self.known_servers.get(lease.server)
         if known is not None and _same_session(known.lease, lease):
             phase = max(phase, phase_of(known.lease.version))
         return at_phase(lease, phase)
@@ -246,7 +246,7 @@
     def _merge_lease(self, lease: Lease, now: float) -> None:
         """Merge what a peer tells of a server, also into what is held here."""
         if lease.held:
-            self.known.merge(lease, now)
+            self.known_servers.merge(lease, now)
         own = self.holder.held.get(lease.server)
         if own is None or own.lease.version >= lease.version:
             return
@@ -259,7 +259,7 @@
             self.holder.release(lease.server, now)
 
     def _hold(self, lease: Lease, expires: float, now: float) -> None:
-        self.known.merge(lease, now)
+        self.known_servers.merge(lease, now)
         if not self.holder.hold(lease, expires):
             return
         self.freshness.dirty = True
@@ -273,7 +273,7 @@
 
     def _retire(self, event: Drain | Depart, phase: Phase, now: float) -> None:
         """Drain or leave: note it, tell all, answer whether it surely holds."""
-        known = self.known.get(event.server)
+        known = self.known_servers.get(event.server)
         match check_retire(event, known):
             case Result(tag="ok", ok=lease):
                 lease = self._at_latest_phase(lease, phase)
@@ -329,7 +329,7 @@
         now: float,
         problem: Problem | None = None,
     ) -> None:
-        known = self.known.get(server)
+        known = self.known_servers.get(server)
         session = session_of(known.lease.version) if known else 0
         ticket = Ticket(self.me.incarnation, now)
         self.actions.insert(0, LeaseAnswer(server, state, ticket, session, problem))
