Rename told to peer_tables

The lease tables of the peers.

Rename: libs/membership/src/kumquatmux_membership/freshness.py told peer_tables

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -33,18 +33,18 @@
     def review(
         self,
         holder: Holder,
-        told: dict[VmId, PeerLeaseTable],
+        peer_tables: dict[VmId, PeerLeaseTable],
         known: KnownServers,
         now: float,
     ) -> ServersChanged | None:
         """Return the servers if they are not what they were."""
-        fresh = self._fresh_holders(told, now)
+        fresh = self._fresh_holders(peer_tables, now)
         if not self.dirty and fresh == self.fresh_holders:
             return None
         self._log_holder_changes(fresh)
         self.dirty = False
         self.fresh_holders = fresh
-        tables = [told[vm].leases for vm in sorted(fresh)]
+        tables = [peer_tables[vm].leases for vm in sorted(fresh)]
         claims = _claims_by_server(holder, tables, known)
         servers = _classify(claims, known)
         if servers == self.latest:
