--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -34,7 +34,7 @@
         self,
         holder: Holder,
         peer_tables: dict[VmId, PeerLeaseTable],
-        known: KnownServers,
+        known_servers: KnownServers,
         now: float,
     ) -> ServersChanged | None:
         """Return the servers if they are not what they were."""
@@ -45,8 +45,8 @@
         self.dirty = False
         self.fresh_holders = fresh
         tables = [peer_tables[vm].leases for vm in sorted(fresh)]
-        claims = _claims_by_server(holder, tables, known)
-        servers = _classify(claims, known)
+        claims = _claims_by_server(holder, tables, known_servers)
+        servers = _classify(claims, known_servers)
         if servers == self.latest:
             return None
         self.latest = servers
