Rename review to update

Updates the classification.

Rename: libs/membership/src/kumquatmux_membership/freshness.py review update

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -30,7 +30,7 @@
         self.fresh_holders: frozenset[VmId] = frozenset()
         self.latest = ServersChanged((), ())
 
-    def review(
+    def update(
         self,
         holder: Holder,
         peer_tables: dict[VmId, PeerLeaseTable],
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -103,7 +103,7 @@
             self.started = now
         self._expire_leases(now)
         self._handle_event(event, now)
-        changed = self.freshness.review(self.holder, self.told, self.known_servers, now)
+        changed = self.freshness.update(self.holder, self.told, self.known_servers, now)
         if changed is not None:
             self.actions.append(changed)
         return self.actions + self.exchange.pop_outgoing()
