Rename told to peer_tables

The lease tables of the peers.

Rename: libs/membership/src/kumquatmux_membership/freshness.py told peer_tables

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -56,10 +56,12 @@
         return servers
 
     def _fresh_holders(
-        self, told: dict[VmId, PeerLeaseTable], now: float
+        self, peer_tables: dict[VmId, PeerLeaseTable], now: float
     ) -> frozenset[VmId]:
         limit = self.settings.stale_seconds
-        fresh = [table for table in told.values() if now < table.confirmed_at + limit]
+        fresh = [
+            table for table in peer_tables.values() if now < table.confirmed_at + limit
+        ]
         ends = [table.confirmed_at + limit for table in fresh if table.leases]
         self.valid_until = min(ends, default=float("inf"))
         return frozenset(table.holder for table in fresh)
