--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -58,11 +58,13 @@
     def _fresh_holders(
         self, peer_tables: dict[VmId, PeerLeaseTable], now: float
     ) -> frozenset[VmId]:
-        limit = self.settings.stale_seconds
+        stale_seconds = self.settings.stale_seconds
         fresh = [
-            table for table in peer_tables.values() if now < table.confirmed_at + limit
+            table
+            for table in peer_tables.values()
+            if now < table.confirmed_at + stale_seconds
         ]
-        ends = [table.confirmed_at + limit for table in fresh if table.leases]
+        ends = [table.confirmed_at + stale_seconds for table in fresh if table.leases]
         self.valid_until = min(ends, default=float("inf"))
         return frozenset(table.holder for table in fresh)
 
