Rename ends to stale_times

Times at which holders become stale.

Rename: libs/membership/src/kumquatmux_membership/freshness.py ends stale_times

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -64,8 +64,10 @@
             for table in peer_tables.values()
             if now < table.confirmed_at + stale_seconds
         ]
-        ends = [table.confirmed_at + stale_seconds for table in fresh if table.leases]
-        self.valid_until = min(ends, default=float("inf"))
+        stale_times = [
+            table.confirmed_at + stale_seconds for table in fresh if table.leases
+        ]
+        self.valid_until = min(stale_times, default=float("inf"))
         return frozenset(table.holder for table in fresh)
 
     def _log_holder_changes(self, fresh: frozenset[VmId]) -> None:
