Rename own to local_leases

The leases held by this VM.

Rename: libs/membership/src/kumquatmux_membership/freshness.py own local_leases

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -82,8 +82,8 @@
 ) -> dict[ServerId, set[tuple[int, ServiceName]]]:
     """Return the versions and services under which each server is held."""
     claims: dict[ServerId, set[tuple[int, ServiceName]]] = {}
-    own = {server: entry.lease for server, entry in holder.held.items()}
-    for table in (own, *tables):
+    local_leases = {server: entry.lease for server, entry in holder.held.items()}
+    for table in (local_leases, *tables):
         for server, lease in table.items():
             if phase_of(lease.version) == Phase.LEFT:
                 continue
