--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -92,12 +92,12 @@
 
 
 def _classify(
-    claims: dict[ServerId, set[tuple[int, ServiceName]]], known: KnownServers
+    claims: dict[ServerId, set[tuple[int, ServiceName]]], known_servers: KnownServers
 ) -> ServersChanged:
     fresh: list[Lease] = []
     stale: list[Lease] = []
-    for server in sorted(known.servers):
-        lease = known.servers[server].lease
+    for server in sorted(known_servers.servers):
+        lease = known_servers.servers[server].lease
         if phase_of(lease.version) == Phase.LEFT:
             continue
         told = claims.get(server, set())
