Rename told to server_claims

The claims of one server.

Rename: libs/membership/src/kumquatmux_membership/freshness.py told server_claims

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -100,8 +100,10 @@
         lease = known_servers.servers[server].lease
         if phase_of(lease.version) == Phase.LEFT:
             continue
-        told = claims.get(server, set())
-        services = {service for _, service in told}
-        confirmed = (lease.version, lease.service) in told and len(services) == 1
+        server_claims = claims.get(server, set())
+        services = {service for _, service in server_claims}
+        confirmed = (lease.version, lease.service) in server_claims and len(
+            services
+        ) == 1
         (fresh if confirmed else stale).append(without_load_report(lease))
     return ServersChanged(tuple(fresh), tuple(stale))
