Rename confirmed to is_fresh

Says what follows from it.

Rename: libs/membership/src/kumquatmux_membership/freshness.py confirmed is_fresh

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -102,8 +102,8 @@
             continue
         server_claims = claims.get(server, set())
         services = {service for _, service in server_claims}
-        confirmed = (lease.version, lease.service) in server_claims and len(
+        is_fresh = (lease.version, lease.service) in server_claims and len(
             services
         ) == 1
-        (fresh if confirmed else stale).append(without_load_report(lease))
+        (fresh if is_fresh else stale).append(without_load_report(lease))
     return ServersChanged(tuple(fresh), tuple(stale))
