Rename Freshness to FreshnessTracker

It keeps track of which leases are fresh.

Rename: libs/membership/src/kumquatmux_membership/freshness.py Freshness FreshnessTracker

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -12,7 +12,7 @@
 from kumquatmux_membership.told import PeerLeaseTable
 
 
-class Freshness:
+class FreshnessTracker:
     """Works out the servers again when leases or the age of a holder change.
 
     Args:
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -36,7 +36,7 @@
     Tick,
     Ticket,
 )
-from kumquatmux_membership.freshness import Freshness
+from kumquatmux_membership.freshness import FreshnessTracker
 from kumquatmux_membership.holder import Holder
 from kumquatmux_membership.known import KnownServers
 from kumquatmux_membership.notices import Notices
@@ -71,7 +71,7 @@
         self.told = self.exchange.peer_tables
         self.peers: dict[VmId, Vm] = {}
         self.notices = Notices(settings)
-        self.freshness = Freshness(settings)
+        self.freshness = FreshnessTracker(settings)
         self.started: float | None = None
         self.leaving = False
         self.next_housekeeping = 0.0
