--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -42,9 +42,9 @@
 from kumquatmux_membership.notices import Notices
 from kumquatmux_membership.phases import (
     Phase,
-    at_phase,
     phase_of,
     session_of,
+    with_phase,
 )
 from kumquatmux_membership.settings import LeaseSettings
 from kumquatmux_membership.sharing import LeaseExchange
@@ -177,7 +177,7 @@
         known = self.known_servers.get(lease.server)
         if known is not None and _same_session(known.lease, lease):
             phase = max(phase, phase_of(known.lease.version))
-        return at_phase(lease, phase)
+        return with_phase(lease, phase)
 
     @_handle_event.register
     def _on_drain(self, event: Drain, now: float) -> None:
@@ -253,7 +253,7 @@
         if own.lease.service != lease.service:
             return
         if _same_session(own.lease, lease):
-            moved = at_phase(own.lease, phase_of(lease.version))
+            moved = with_phase(own.lease, phase_of(lease.version))
             self.holder.hold(moved, own.expires_at)
         else:
             self.holder.release(lease.server, now)
--- a/libs/membership/src/kumquatmux_membership/phases.py
+++ b/libs/membership/src/kumquatmux_membership/phases.py
@@ -36,7 +36,7 @@
     return Phase(min(version % PHASES_PER_SESSION, Phase.LEFT))
 
 
-def at_phase(lease: Lease, phase: Phase) -> Lease:
+def with_phase(lease: Lease, phase: Phase) -> Lease:
     """Return a lease moved to a phase of its session."""
     return lease._replace(
         draining=phase >= Phase.DRAINING,
--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -19,7 +19,7 @@
     Tick,
 )
 from kumquatmux_membership.leases import LeaseTable
-from kumquatmux_membership.phases import Phase, at_phase, version_of
+from kumquatmux_membership.phases import Phase, version_of, with_phase
 from kumquatmux_membership.settings import LeaseSettings
 
 ZONE = ZoneName("cnx-a")
@@ -41,7 +41,7 @@
         False,
         version_of(session, Phase.LIVE),
     )
-    return at_phase(made, phase)
+    return with_phase(made, phase)
 
 
 def table():
