--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -26,9 +26,9 @@
     """
 
     def __init__(
-        self, version: int, table_version: int, noted: float, waiting: set[VmId]
+        self, lease_version: int, table_version: int, noted: float, waiting: set[VmId]
     ) -> None:
-        self.version = version
+        self.version = lease_version
         self.table_version = table_version
         self.noted = noted
         self.waiting = waiting
