--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -28,7 +28,7 @@
     def __init__(
         self, lease_version: int, table_version: int, noted: float, waiting: set[VmId]
     ) -> None:
-        self.version = lease_version
+        self.lease_version = lease_version
         self.table_version = table_version
         self.noted = noted
         self.waiting = waiting
@@ -49,7 +49,7 @@
     def find(self, lease: Lease) -> Notice | None:
         """Return the notice of a lease at its present version."""
         notice = self.open.get(lease.server)
-        if notice is None or notice.version != lease.version:
+        if notice is None or notice.lease_version != lease.version:
             return None
         return notice
 
