Rename noted to requested_at

When the server requested it.

Rename: libs/membership/src/kumquatmux_membership/notices.py noted requested_at

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -26,13 +26,17 @@
     """
 
     def __init__(
-        self, lease_version: int, table_version: int, noted: float, waiting: set[VmId]
+        self,
+        lease_version: int,
+        table_version: int,
+        requested_at: float,
+        waiting: set[VmId],
     ) -> None:
         self.lease_version = lease_version
         self.table_version = table_version
-        self.noted = noted
+        self.noted = requested_at
         self.waiting = waiting
-        self.sent = noted
+        self.sent = requested_at
 
 
 class Notices:
