Rename noted to requested_at

When the server requested it.

Rename: libs/membership/src/kumquatmux_membership/notices.py noted requested_at

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -34,7 +34,7 @@
     ) -> None:
         self.lease_version = lease_version
         self.table_version = table_version
-        self.noted = requested_at
+        self.requested_at = requested_at
         self.waiting = waiting
         self.sent = requested_at
 
@@ -72,7 +72,7 @@
         notice = self.find(lease)
         if notice is None:
             return False
-        lapsed = now - notice.noted >= self.settings.lapse_seconds
+        lapsed = now - notice.requested_at >= self.settings.lapse_seconds
         return lapsed or not notice.waiting
 
     def acknowledge(self, vm: VmId, version: int) -> None:
@@ -87,7 +87,7 @@
         for notice in self.open.values():
             if not notice.waiting or now - notice.sent < self.settings.resend_seconds:
                 continue
-            if now - notice.noted > self.settings.lapse_seconds:
+            if now - notice.requested_at > self.settings.lapse_seconds:
                 continue
             notice.sent = now
             vms.update(notice.waiting)
@@ -104,6 +104,8 @@
 
     def prune(self, before: float) -> None:
         """Forget notices older than a time."""
-        old = [name for name, notice in self.open.items() if notice.noted < before]
+        old = [
+            name for name, notice in self.open.items() if notice.requested_at < before
+        ]
         for name in old:
             del self.open[name]
