Rename waiting to unacknowledged

VMs without an acknowledgement.

Rename: libs/membership/src/kumquatmux_membership/notices.py waiting unacknowledged

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -35,7 +35,7 @@
         self.lease_version = lease_version
         self.table_version = table_version
         self.requested_at = requested_at
-        self.waiting = waiting
+        self.unacknowledged = waiting
         self.sent = requested_at
 
 
@@ -73,24 +73,27 @@
         if notice is None:
             return False
         lapsed = now - notice.requested_at >= self.settings.lapse_seconds
-        return lapsed or not notice.waiting
+        return lapsed or not notice.unacknowledged
 
     def acknowledge(self, vm: VmId, version: int) -> None:
         """Note that a VM knows our table up to a version."""
         for notice in self.open.values():
             if version >= notice.table_version:
-                notice.waiting.discard(vm)
+                notice.unacknowledged.discard(vm)
 
     def due(self, now: float) -> list[VmId]:
         """Return the VMs that are to be told again."""
         vms: set[VmId] = set()
         for notice in self.open.values():
-            if not notice.waiting or now - notice.sent < self.settings.resend_seconds:
+            if (
+                not notice.unacknowledged
+                or now - notice.sent < self.settings.resend_seconds
+            ):
                 continue
             if now - notice.requested_at > self.settings.lapse_seconds:
                 continue
             notice.sent = now
-            vms.update(notice.waiting)
+            vms.update(notice.unacknowledged)
         return sorted(vms)
 
     def base(self, vm: VmId) -> int:
@@ -98,7 +101,7 @@
         versions = [
             notice.table_version - 1
             for notice in self.open.values()
-            if vm in notice.waiting
+            if vm in notice.unacknowledged
         ]
         return min(versions, default=0)
 
