--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -36,7 +36,7 @@
         self.table_version = table_version
         self.requested_at = requested_at
         self.unacknowledged = waiting
-        self.sent = requested_at
+        self.sent_at = requested_at
 
 
 class Notices:
@@ -87,12 +87,12 @@
         for notice in self.open.values():
             if (
                 not notice.unacknowledged
-                or now - notice.sent < self.settings.resend_seconds
+                or now - notice.sent_at < self.settings.resend_seconds
             ):
                 continue
             if now - notice.requested_at > self.settings.lapse_seconds:
                 continue
-            notice.sent = now
+            notice.sent_at = now
             vms.update(notice.unacknowledged)
         return sorted(vms)
 
