Rename Notice to PendingRetirement

A drain or leave that is not in force everywhere yet.

Rename: libs/membership/src/kumquatmux_membership/notices.py Notice PendingRetirement

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -14,7 +14,7 @@
 from kumquatmux_membership.settings import LeaseSettings
 
 
-class Notice:
+class PendingRetirement:
     """One drain or leave told to the other VMs of the zone.
 
     Attributes:
@@ -48,9 +48,9 @@
 
     def __init__(self, settings: LeaseSettings) -> None:
         self.settings = settings
-        self.open: dict[ServerId, Notice] = {}
+        self.open: dict[ServerId, PendingRetirement] = {}
 
-    def find(self, lease: Lease) -> Notice | None:
+    def find(self, lease: Lease) -> PendingRetirement | None:
         """Return the notice of a lease at its present version."""
         notice = self.open.get(lease.server)
         if notice is None or notice.lease_version != lease.version:
@@ -61,7 +61,9 @@
         self, lease: Lease, table_version: int, waiting: set[VmId], now: float
     ) -> None:
         """Begin to wait for the VMs that might hold the server as live."""
-        self.open[lease.server] = Notice(lease.version, table_version, now, waiting)
+        self.open[lease.server] = PendingRetirement(
+            lease.version, table_version, now, waiting
+        )
         phase = phase_of(lease.version).name.lower()
         decisions.log(
             "lease-noted", server=lease.server, phase=phase, waiting=len(waiting)
