Rename open to retirements

Pending retirements by server.

Rename: libs/membership/src/kumquatmux_membership/notices.py open retirements

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -48,11 +48,11 @@
 
     def __init__(self, settings: LeaseSettings) -> None:
         self.settings = settings
-        self.open: dict[ServerId, PendingRetirement] = {}
+        self.retirements: dict[ServerId, PendingRetirement] = {}
 
     def find(self, lease: Lease) -> PendingRetirement | None:
         """Return the notice of a lease at its present version."""
-        notice = self.open.get(lease.server)
+        notice = self.retirements.get(lease.server)
         if notice is None or notice.lease_version != lease.version:
             return None
         return notice
@@ -61,7 +61,7 @@
         self, lease: Lease, table_version: int, waiting: set[VmId], now: float
     ) -> None:
         """Begin to wait for the VMs that might hold the server as live."""
-        self.open[lease.server] = PendingRetirement(
+        self.retirements[lease.server] = PendingRetirement(
             lease.version, table_version, now, waiting
         )
         phase = phase_of(lease.version).name.lower()
@@ -79,14 +79,14 @@
 
     def acknowledge(self, vm: VmId, version: int) -> None:
         """Note that a VM knows our table up to a version."""
-        for notice in self.open.values():
+        for notice in self.retirements.values():
             if version >= notice.table_version:
                 notice.unacknowledged.discard(vm)
 
     def due(self, now: float) -> list[VmId]:
         """Return the VMs that are to be told again."""
         vms: set[VmId] = set()
-        for notice in self.open.values():
+        for notice in self.retirements.values():
             if (
                 not notice.unacknowledged
                 or now - notice.sent_at < self.settings.resend_seconds
@@ -102,7 +102,7 @@
         """Return the table version from which a VM has to be told."""
         versions = [
             notice.table_version - 1
-            for notice in self.open.values()
+            for notice in self.retirements.values()
             if vm in notice.unacknowledged
         ]
         return min(versions, default=0)
@@ -110,7 +110,9 @@
     def prune(self, before: float) -> None:
         """Forget notices older than a time."""
         old = [
-            name for name, notice in self.open.items() if notice.requested_at < before
+            name
+            for name, notice in self.retirements.items()
+            if notice.requested_at < before
         ]
         for name in old:
-            del self.open[name]
+            del self.retirements[name]
