Rename waiting to unacknowledged

VMs without an acknowledgement.

Rename: libs/membership/src/kumquatmux_membership/notices.py waiting unacknowledged

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -58,15 +58,15 @@
         return notice
 
     def add(
-        self, lease: Lease, table_version: int, waiting: set[VmId], now: float
+        self, lease: Lease, table_version: int, unacknowledged: set[VmId], now: float
     ) -> None:
         """Begin to wait for the VMs that might hold the server as live."""
         self.retirements[lease.server] = PendingRetirement(
-            lease.version, table_version, now, waiting
+            lease.version, table_version, now, unacknowledged
         )
         phase = phase_of(lease.version).name.lower()
         decisions.log(
-            "lease-noted", server=lease.server, phase=phase, waiting=len(waiting)
+            "lease-noted", server=lease.server, phase=phase, waiting=len(unacknowledged)
         )
 
     def in_force(self, lease: Lease, now: float) -> bool:
