Rename version to table_version

It is a version of the table.

Rename: libs/membership/src/kumquatmux_membership/notices.py version table_version

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -77,10 +77,10 @@
         lapsed = now - notice.requested_at >= self.settings.lapse_seconds
         return lapsed or not notice.unacknowledged
 
-    def acknowledge(self, vm: VmId, version: int) -> None:
+    def acknowledge(self, vm: VmId, table_version: int) -> None:
         """Note that a VM knows our table up to a version."""
         for notice in self.retirements.values():
-            if version >= notice.table_version:
+            if table_version >= notice.table_version:
                 notice.unacknowledged.discard(vm)
 
     def due(self, now: float) -> list[VmId]:
