--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -121,7 +121,7 @@
 
     @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
-        for vm in self.notices.due(now):
+        for vm in self.notices.take_due_vms(now):
             self.exchange.send_update(vm, self.notices.base(vm), ack_requested=True)
         if now < self.next_housekeeping:
             return
--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -83,7 +83,7 @@
             if table_version >= notice.table_version:
                 notice.unacknowledged.discard(vm)
 
-    def due(self, now: float) -> list[VmId]:
+    def take_due_vms(self, now: float) -> list[VmId]:
         """Return the VMs that are to be told again."""
         vms: set[VmId] = set()
         for notice in self.retirements.values():
