Rename base to resend_base_version

The version from which changes are sent again.

Rename: libs/membership/src/kumquatmux_membership/notices.py base resend_base_version

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -122,7 +122,9 @@
     @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
         for vm in self.notices.take_due_vms(now):
-            self.exchange.send_update(vm, self.notices.base(vm), ack_requested=True)
+            self.exchange.send_update(
+                vm, self.notices.resend_base_version(vm), ack_requested=True
+            )
         if now < self.next_housekeeping:
             return
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -98,7 +98,7 @@
             vms.update(notice.unacknowledged)
         return sorted(vms)
 
-    def base(self, vm: VmId) -> int:
+    def resend_base_version(self, vm: VmId) -> int:
         """Return the table version from which a VM has to be told."""
         versions = [
             notice.table_version - 1
