Rename before to cutoff

Usual term for a time limit.

Rename: libs/membership/src/kumquatmux_membership/notices.py before cutoff

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -107,12 +107,12 @@
         ]
         return min(versions, default=0)
 
-    def prune(self, before: float) -> None:
+    def prune(self, cutoff: float) -> None:
         """Forget notices older than a time."""
         old = [
             name
             for name, notice in self.retirements.items()
-            if notice.requested_at < before
+            if notice.requested_at < cutoff
         ]
         for name in old:
             del self.retirements[name]
