Rename old to outdated

Entries older than the cutoff.

Rename: libs/membership/src/kumquatmux_membership/notices.py old outdated

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -109,10 +109,10 @@
 
     def prune(self, cutoff: float) -> None:
         """Forget notices older than a time."""
-        old = [
+        outdated = [
             name
             for name, notice in self.retirements.items()
             if notice.requested_at < cutoff
         ]
-        for name in old:
+        for name in outdated:
             del self.retirements[name]
