--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -114,5 +114,5 @@
             for name, notice in self.retirements.items()
             if notice.requested_at < cutoff
         ]
-        for name in outdated:
-            del self.retirements[name]
+        for server in outdated:
+            del self.retirements[server]
