Rename notice to retirement

A retirement is a drain or leave.

Rename: libs/membership/src/kumquatmux_membership/notices.py notice retirement

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -52,10 +52,10 @@
 
     def find(self, lease: Lease) -> PendingRetirement | None:
         """Return the notice of a lease at its present version."""
-        notice = self.retirements.get(lease.server)
-        if notice is None or notice.lease_version != lease.version:
+        retirement = self.retirements.get(lease.server)
+        if retirement is None or retirement.lease_version != lease.version:
             return None
-        return notice
+        return retirement
 
     def add(
         self, lease: Lease, table_version: int, unacknowledged: set[VmId], now: float
