Rename notice to retirement

A retirement is a drain or leave.

Rename: libs/membership/src/kumquatmux_membership/notices.py notice retirement

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -71,11 +71,11 @@
 
     def in_force(self, lease: Lease, now: float) -> bool:
         """Whether no VM of the zone holds the server as live any more."""
-        notice = self.find(lease)
-        if notice is None:
+        retirement = self.find(lease)
+        if retirement is None:
             return False
-        lapsed = now - notice.requested_at >= self.settings.lapse_seconds
-        return lapsed or not notice.unacknowledged
+        lapsed = now - retirement.requested_at >= self.settings.lapse_seconds
+        return lapsed or not retirement.unacknowledged
 
     def acknowledge(self, vm: VmId, table_version: int) -> None:
         """Note that a VM knows our table up to a version."""
