Rename notice to retirement

A retirement is a drain or leave.

Rename: libs/membership/src/kumquatmux_membership/notices.py notice retirement

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -79,9 +79,9 @@
 
     def acknowledge(self, vm: VmId, table_version: int) -> None:
         """Note that a VM knows our table up to a version."""
-        for notice in self.retirements.values():
-            if table_version >= notice.table_version:
-                notice.unacknowledged.discard(vm)
+        for retirement in self.retirements.values():
+            if table_version >= retirement.table_version:
+                retirement.unacknowledged.discard(vm)
 
     def take_due_vms(self, now: float) -> list[VmId]:
         """Return the VMs that are to be told again."""
