Rename notice to retirement

A retirement is a drain or leave.

Rename: libs/membership/src/kumquatmux_membership/notices.py notice retirement

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -86,16 +86,16 @@
     def take_due_vms(self, now: float) -> list[VmId]:
         """Return the VMs that are to be told again."""
         vms: set[VmId] = set()
-        for notice in self.retirements.values():
+        for retirement in self.retirements.values():
             if (
-                not notice.unacknowledged
-                or now - notice.sent_at < self.settings.resend_seconds
+                not retirement.unacknowledged
+                or now - retirement.sent_at < self.settings.resend_seconds
             ):
                 continue
-            if now - notice.requested_at > self.settings.lapse_seconds:
+            if now - retirement.requested_at > self.settings.lapse_seconds:
                 continue
-            notice.sent_at = now
-            vms.update(notice.unacknowledged)
+            retirement.sent_at = now
+            vms.update(retirement.unacknowledged)
         return sorted(vms)
 
     def resend_base_version(self, vm: VmId) -> int:
