Rename notice to retirement

A retirement is a drain or leave.

Rename: libs/membership/src/kumquatmux_membership/notices.py notice retirement

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -101,8 +101,8 @@
     def resend_base_version(self, vm: VmId) -> int:
         """Return the table version from which a VM has to be told."""
         versions = [
-            notice.table_version - 1
-            for notice in self.retirements.values()
+            retirement.table_version - 1
+            for retirement in self.retirements.values()
             if vm in notice.unacknowledged
         ]
         return min(versions, default=0)
