Rename notices to pending_retirements

They are drains and leaves that are not in force everywhere yet.

Rename: libs/membership/src/kumquatmux_membership/leases.py notices pending_retirements

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -70,7 +70,7 @@
         self.exchange = LeaseExchange(me, settings, self.holder)
         self.told = self.exchange.peer_tables
         self.peers: dict[VmId, Vm] = {}
-        self.notices = Notices(settings)
+        self.pending_retirements = Notices(settings)
         self.freshness = FreshnessTracker(settings)
         self.started: float | None = None
         self.leaving = False
@@ -85,7 +85,12 @@
     def use_settings(self, settings: LeaseSettings) -> None:
         """Bring other periods into force; leases that run keep their end."""
         self.settings = settings = settings.bounded
-        for part in (self.known_servers, self.notices, self.freshness, self.exchange):
+        for part in (
+            self.known_servers,
+            self.pending_retirements,
+            self.freshness,
+            self.exchange,
+        ):
             part.settings = settings
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -121,9 +126,9 @@
 
     @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
-        for vm in self.notices.take_due_vms(now):
+        for vm in self.pending_retirements.take_due_vms(now):
             self.exchange.send_update(
-                vm, self.notices.resend_base_version(vm), ack_requested=True
+                vm, self.pending_retirements.resend_base_version(vm), ack_requested=True
             )
         if now < self.next_housekeeping:
             return
@@ -133,7 +138,7 @@
             self.known_servers.mark_held(server, now)
         before = now - self.settings.retired_seconds
         self.holder.prune(before)
-        self.notices.prune(before)
+        self.pending_retirements.prune(before)
         if self.known_servers.prune(before):
             self.freshness.dirty = True
 
@@ -234,7 +239,7 @@
     @_handle_message.register
     def _receive_ack(self, message: LeaseAck, now: float) -> None:
         if message.incarnation == self.me.incarnation:
-            self.notices.acknowledge(message.sender, message.version)
+            self.pending_retirements.acknowledge(message.sender, message.version)
 
     def _current_table(self, vm: VmId, incarnation: int) -> PeerLeaseTable | None:
         """Return the table of a holder's present process, None for an earlier one."""
@@ -279,9 +284,9 @@
         match check_retire(event, known):
             case Result(tag="ok", ok=lease):
                 lease = self._at_latest_phase(lease, phase)
-                if self.notices.find(lease) is None:
+                if self.pending_retirements.find(lease) is None:
                     self._start_retirement(lease, now)
-                in_force = self.notices.in_force(lease, now)
+                in_force = self.pending_retirements.in_force(lease, now)
                 state = LeaseState.IN_FORCE if in_force else LeaseState.NOTED
                 self._answer(event.server, state, now)
             case Result(error=problem):
@@ -295,7 +300,7 @@
         base = self.holder.version
         self._hold(lease, expires, now)
         witnesses = self._possible_holders(lease)
-        self.notices.add(lease, self.holder.version, set(witnesses), now)
+        self.pending_retirements.add(lease, self.holder.version, set(witnesses), now)
         for vm in sorted(witnesses):
             self.exchange.send_update(vm, base, ack_requested=True)
         self.exchange.push_changes(base, now, skip=witnesses)
