Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/admission.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -24,7 +24,7 @@
         full: Whether it holds as many servers as it may.
     """
 
-    me: Vm
+    local_vm: Vm
     leaving: bool
     informed: bool
     full: bool
@@ -41,15 +41,15 @@
     lease = event.lease
     if desk.leaving:
         return _refuse(lease, "vm-leaving", "this VM shuts down, renew at another one")
-    if lease.zone != desk.me.zone:
-        return _refuse(lease, "wrong-zone", f"this VM serves zone {desk.me.zone}")
+    if lease.zone != desk.local_vm.zone:
+        return _refuse(lease, "wrong-zone", f"this VM serves zone {desk.local_vm.zone}")
     if lease.server != str(lease.endpoint):
         return _refuse(lease, "wrong-server", f"its endpoint is {lease.endpoint}")
     if not desk.informed and known is None:
         return _refuse(lease, "vm-starting", "this VM has not heard its peers yet")
     if desk.full and known is None:
         return _refuse(lease, "table-full", "this VM holds as many servers as it may")
-    if not _ticket_valid(event.ticket, desk.me, settings, now):
+    if not _ticket_valid(event.ticket, desk.local_vm, settings, now):
         return _refuse(lease, "ticket-needed", "repeat the call with this ticket")
     if known is None:
         return Ok(lease)
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -319,7 +319,7 @@
         ]
         warm = now - started >= self.settings.stale_seconds
         return Desk(
-            me=self.me,
+            local_vm=self.me,
             leaving=self.leaving,
             informed=warm or not unheard,
             full=len(self.holder.held) >= self.settings.max_servers,
