Rename informed to peers_consulted

Whether the peers have told their leases.

Rename: libs/membership/src/kumquatmux_membership/admission.py informed peers_consulted

--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -26,7 +26,7 @@
 
     local_vm: Vm
     leaving: bool
-    informed: bool
+    peers_consulted: bool
     full: bool
 
 
@@ -45,7 +45,7 @@
         return _refuse(lease, "wrong-zone", f"this VM serves zone {desk.local_vm.zone}")
     if lease.server != str(lease.endpoint):
         return _refuse(lease, "wrong-server", f"its endpoint is {lease.endpoint}")
-    if not desk.informed and known is None:
+    if not desk.peers_consulted and known is None:
         return _refuse(lease, "vm-starting", "this VM has not heard its peers yet")
     if desk.full and known is None:
         return _refuse(lease, "table-full", "this VM holds as many servers as it may")
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -321,7 +321,7 @@
         return Desk(
             local_vm=self.me,
             leaving=self.leaving,
-            informed=warm or not unheard,
+            peers_consulted=warm or not unheard,
             full=len(self.holder.held) >= self.settings.max_servers,
         )
 
