--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -27,7 +27,7 @@
     local_vm: Vm
     leaving: bool
     peers_consulted: bool
-    full: bool
+    table_full: bool
 
 
 def check_announce(
@@ -47,7 +47,7 @@
         return _refuse(lease, "wrong-server", f"its endpoint is {lease.endpoint}")
     if not desk.peers_consulted and known is None:
         return _refuse(lease, "vm-starting", "this VM has not heard its peers yet")
-    if desk.full and known is None:
+    if desk.table_full and known is None:
         return _refuse(lease, "table-full", "this VM holds as many servers as it may")
     if not _ticket_valid(event.ticket, desk.local_vm, settings, now):
         return _refuse(lease, "ticket-needed", "repeat the call with this ticket")
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -322,7 +322,7 @@
             local_vm=self.me,
             leaving=self.leaving,
             peers_consulted=warm or not unheard,
-            full=len(self.holder.held) >= self.settings.max_servers,
+            table_full=len(self.holder.held) >= self.settings.max_servers,
         )
 
     def _refuse(self, server: ServerId, problem: Problem, now: float) -> None:
