--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -33,23 +33,25 @@
 def check_announce(
     event: Announce,
     known: KnownServer | None,
-    desk: Desk,
+    state: Desk,
     settings: LeaseSettings,
     now: float,
 ) -> Result[Lease, Problem]:
     """Return the lease to hold, or why the announcement is refused."""
     lease = event.lease
-    if desk.leaving:
+    if state.leaving:
         return _refuse(lease, "vm-leaving", "this VM shuts down, renew at another one")
-    if lease.zone != desk.local_vm.zone:
-        return _refuse(lease, "wrong-zone", f"this VM serves zone {desk.local_vm.zone}")
+    if lease.zone != state.local_vm.zone:
+        return _refuse(
+            lease, "wrong-zone", f"this VM serves zone {state.local_vm.zone}"
+        )
     if lease.server != str(lease.endpoint):
         return _refuse(lease, "wrong-server", f"its endpoint is {lease.endpoint}")
-    if not desk.peers_consulted and known is None:
+    if not state.peers_consulted and known is None:
         return _refuse(lease, "vm-starting", "this VM has not heard its peers yet")
-    if desk.table_full and known is None:
+    if state.table_full and known is None:
         return _refuse(lease, "table-full", "this VM holds as many servers as it may")
-    if not _ticket_valid(event.ticket, desk.local_vm, settings, now):
+    if not _ticket_valid(event.ticket, state.local_vm, settings, now):
         return _refuse(lease, "ticket-needed", "repeat the call with this ticket")
     if known is None:
         return Ok(lease)
