Rename Desk to AdmissionState

State of the VM that admission checks depend on.

Rename: libs/membership/src/kumquatmux_membership/admission.py Desk AdmissionState

--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -14,7 +14,7 @@
 from kumquatmux_membership.settings import LeaseSettings
 
 
-class Desk(NamedTuple):
+class AdmissionState(NamedTuple):
     """What a VM is able to take at the moment.
 
     Attributes:
@@ -33,7 +33,7 @@
 def check_announce(
     event: Announce,
     known: KnownServer | None,
-    state: Desk,
+    state: AdmissionState,
     settings: LeaseSettings,
     now: float,
 ) -> Result[Lease, Problem]:
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -15,7 +15,7 @@
 from kumquatmux_core import decisions
 from kumquatmux_core.identity import ServerId, Vm, VmId
 from kumquatmux_core.problems import Problem
-from kumquatmux_membership.admission import Desk, check_announce, check_retire
+from kumquatmux_membership.admission import AdmissionState, check_announce, check_retire
 from kumquatmux_membership.events import (
     Action,
     Announce,
@@ -310,7 +310,7 @@
         zones = (lease.zone,) if lease.zone else {vm.zone for vm in self.peers.values()}
         return {vm.vm for vm in self.peers.values() if vm.zone in zones}
 
-    def _admission_state(self, now: float) -> Desk:
+    def _admission_state(self, now: float) -> AdmissionState:
         started = self.started if self.started is not None else now
         unheard = [
             vm
@@ -318,7 +318,7 @@
             if self.exchange.peer_table(vm).confirmed_at < started
         ]
         warm = now - started >= self.settings.stale_seconds
-        return Desk(
+        return AdmissionState(
             local_vm=self.me,
             leaving=self.leaving,
             peers_consulted=warm or not unheard,
