--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -32,7 +32,7 @@
 
 def check_announce(
     event: Announce,
-    known: KnownServer | None,
+    known_server: KnownServer | None,
     state: AdmissionState,
     settings: LeaseSettings,
     now: float,
@@ -47,15 +47,15 @@
         )
     if lease.server != str(lease.endpoint):
         return _refuse(lease, "wrong-server", f"its endpoint is {lease.endpoint}")
-    if not state.peers_consulted and known is None:
+    if not state.peers_consulted and known_server is None:
         return _refuse(lease, "vm-starting", "this VM has not heard its peers yet")
-    if state.table_full and known is None:
+    if state.table_full and known_server is None:
         return _refuse(lease, "table-full", "this VM holds as many servers as it may")
     if not _ticket_valid(event.ticket, state.local_vm, settings, now):
         return _refuse(lease, "ticket-needed", "repeat the call with this ticket")
-    if known is None:
+    if known_server is None:
         return Ok(lease)
-    return _check_conflicts(lease, known, settings, now)
+    return _check_conflicts(lease, known_server, settings, now)
 
 
 def check_retire(
