--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -59,18 +59,21 @@
 
 
 def check_retire(
-    event: Drain | Depart, known: KnownServer | None
+    event: Drain | Depart, known_server: KnownServer | None
 ) -> Result[Lease, Problem]:
     """Return the lease that drains or leaves, or why the call is refused."""
-    if known is not None and event.service not in ("", known.lease.service):
-        detail = f"it belongs to service {known.lease.service}"
+    if known_server is not None and event.service not in (
+        "",
+        known_server.lease.service,
+    ):
+        detail = f"it belongs to service {known_server.lease.service}"
         return Error(Problem("address-taken", detail, event.server))
-    if known is None or session_of(known.lease.version) < event.session:
+    if known_server is None or session_of(known_server.lease.version) < event.session:
         return _lease_of_unknown_session(event)
-    if event.session and event.session < session_of(known.lease.version):
-        detail = f"its latest session is {session_of(known.lease.version)}"
+    if event.session and event.session < session_of(known_server.lease.version):
+        detail = f"its latest session is {session_of(known_server.lease.version)}"
         return Error(Problem("session-old", detail, event.server))
-    return Ok(known.lease)
+    return Ok(known_server.lease)
 
 
 def _check_conflicts(
