--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -77,16 +77,16 @@
 
 
 def _check_conflicts(
-    lease: Lease, known: KnownServer, settings: LeaseSettings, now: float
+    lease: Lease, known_server: KnownServer, settings: LeaseSettings, now: float
 ) -> Result[Lease, Problem]:
     session = session_of(lease.version)
-    latest = session_of(known.lease.version)
-    held_lately = now - known.last_held_at < settings.address_hold_seconds
-    if lease.service != known.lease.service and held_lately:
+    latest = session_of(known_server.lease.version)
+    held_lately = now - known_server.last_held_at < settings.address_hold_seconds
+    if lease.service != known_server.lease.service and held_lately:
         return _refuse(lease, "address-taken", "another service uses this address")
     if session < latest:
         return _refuse(lease, "session-old", f"its latest session is {latest}")
-    if session == latest and phase_of(known.lease.version) == Phase.LEFT:
+    if session == latest and phase_of(known_server.lease.version) == Phase.LEFT:
         return _refuse(lease, "session-left", f"session {latest} has left for good")
     return Ok(lease)
 
