Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/admission.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -92,9 +92,9 @@
 
 
 def _ticket_valid(
-    ticket: Ticket | None, me: Vm, settings: LeaseSettings, now: float
+    ticket: Ticket | None, local_vm: Vm, settings: LeaseSettings, now: float
 ) -> bool:
-    if ticket is None or ticket.incarnation != me.incarnation:
+    if ticket is None or ticket.incarnation != local_vm.incarnation:
         return False
     return 0 <= now - ticket.stamp <= settings.ticket_seconds
 
