--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -81,8 +81,8 @@
 ) -> Result[Lease, Problem]:
     session = session_of(lease.version)
     latest = session_of(known_server.lease.version)
-    held_lately = now - known_server.last_held_at < settings.address_hold_seconds
-    if lease.service != known_server.lease.service and held_lately:
+    recently_held = now - known_server.last_held_at < settings.address_hold_seconds
+    if lease.service != known_server.lease.service and recently_held:
         return _refuse(lease, "address-taken", "another service uses this address")
     if session < latest:
         return _refuse(lease, "session-old", f"its latest session is {latest}")
