Rename latest to latest_session

It is a session.

Rename: libs/membership/src/kumquatmux_membership/admission.py latest latest_session

--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -80,14 +80,16 @@
     lease: Lease, known_server: KnownServer, settings: LeaseSettings, now: float
 ) -> Result[Lease, Problem]:
     session = session_of(lease.version)
-    latest = session_of(known_server.lease.version)
+    latest_session = session_of(known_server.lease.version)
     recently_held = now - known_server.last_held_at < settings.address_hold_seconds
     if lease.service != known_server.lease.service and recently_held:
         return _refuse(lease, "address-taken", "another service uses this address")
-    if session < latest:
-        return _refuse(lease, "session-old", f"its latest session is {latest}")
-    if session == latest and phase_of(known_server.lease.version) == Phase.LEFT:
-        return _refuse(lease, "session-left", f"session {latest} has left for good")
+    if session < latest_session:
+        return _refuse(lease, "session-old", f"its latest session is {latest_session}")
+    if session == latest_session and phase_of(known_server.lease.version) == Phase.LEFT:
+        return _refuse(
+            lease, "session-left", f"session {latest_session} has left for good"
+        )
     return Ok(lease)
 
 
