Rename LONGEST_LEASE_SECONDS to MAX_LEASE_SECONDS

Usual prefix of an upper bound.

Rename: libs/membership/src/kumquatmux_membership/settings.py LONGEST_LEASE_SECONDS MAX_LEASE_SECONDS

--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -42,7 +42,7 @@
     fanout: int = 0
 
 
-LONGEST_LEASE_SECONDS = 4.0
+MAX_LEASE_SECONDS = 4.0
 LONGEST_STALE_SECONDS = 2.5
 """Bounds that hold whatever the settings say, as VMs may differ in their revision."""
 
@@ -78,11 +78,11 @@
     def bounded(self) -> LeaseSettings:
         """These settings within the bounds that the promise of a leave is built on."""
         return self._replace(
-            lease_seconds=min(self.lease_seconds, LONGEST_LEASE_SECONDS),
+            lease_seconds=min(self.lease_seconds, MAX_LEASE_SECONDS),
             stale_seconds=min(self.stale_seconds, LONGEST_STALE_SECONDS),
         )
 
     @property
     def lapse_seconds(self) -> float:
         """Time after which no lease is left that was renewed before, on any VM."""
-        return LONGEST_LEASE_SECONDS * (1 + self.clock_rate_margin)
+        return MAX_LEASE_SECONDS * (1 + self.clock_rate_margin)
