--- a/libs/membership/src/kumquatmux_membership/roster.py
+++ b/libs/membership/src/kumquatmux_membership/roster.py
@@ -57,7 +57,7 @@
         for name, peer in list(self.peers.items()):
             if peer.configured or peer.in_view:
                 continue
-            retention_seconds = settings.forget_seconds
+            retention_seconds = settings.silent_retention_seconds
             if peer.left:
                 retention_seconds = settings.left_seconds
             if now - max(peer.last_echo, peer.view_changed_at) > retention_seconds:
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -38,7 +38,7 @@
     stable_seconds: float = 60.0
     quiet_rounds: int = 4
     left_seconds: float = 10.0
-    forget_seconds: float = 3600.0
+    silent_retention_seconds: float = 3600.0
     fanout: int = 0
 
 
