--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -105,7 +105,7 @@
             vm
             for vm, table in self.peer_tables.items()
             if now - max(table.confirmed_at, table.pending_confirmed_at)
-            > self.settings.forget_seconds
+            > self.settings.silent_holder_retention_seconds
         ]
         for vm in silent:
             del self.peer_tables[vm]
