Rename bounded to within_bounds

Returns the settings within their bounds.

Rename: libs/membership/src/kumquatmux_membership/settings.py bounded within_bounds

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -64,7 +64,7 @@
 
     def __init__(self, me: Vm, settings: LeaseSettings) -> None:
         self.me = me
-        self.settings = settings = settings.bounded
+        self.settings = settings = settings.within_bounds
         self.holder = Holder()
         self.known_servers = KnownServers(settings)
         self.exchange = LeaseExchange(me, settings, self.holder)
@@ -84,7 +84,7 @@
 
     def use_settings(self, settings: LeaseSettings) -> None:
         """Bring other periods into force; leases that run keep their end."""
-        self.settings = settings = settings.bounded
+        self.settings = settings = settings.within_bounds
         for part in (
             self.known_servers,
             self.pending_retirements,
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -75,7 +75,7 @@
     max_servers: int = 10_000
 
     @property
-    def bounded(self) -> LeaseSettings:
+    def within_bounds(self) -> LeaseSettings:
         """These settings within the bounds that the promise of a leave is built on."""
         return self._replace(
             lease_seconds=min(self.lease_seconds, MAX_LEASE_SECONDS),
