--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -74,7 +74,7 @@
         retirement = self.find(lease)
         if retirement is None:
             return False
-        lapsed = now - retirement.requested_at >= self.settings.lapse_seconds
+        lapsed = now - retirement.requested_at >= self.settings.lease_lapse_seconds
         return lapsed or not retirement.unacknowledged
 
     def acknowledge(self, vm: VmId, table_version: int) -> None:
@@ -92,7 +92,7 @@
                 or now - retirement.sent_at < self.settings.resend_seconds
             ):
                 continue
-            if now - retirement.requested_at > self.settings.lapse_seconds:
+            if now - retirement.requested_at > self.settings.lease_lapse_seconds:
                 continue
             retirement.sent_at = now
             vms.update(retirement.unacknowledged)
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -83,6 +83,6 @@
         )
 
     @property
-    def lapse_seconds(self) -> float:
+    def lease_lapse_seconds(self) -> float:
         """Time after which no lease is left that was renewed before, on any VM."""
         return MAX_LEASE_SECONDS * (1 + self.clock_rate_margin)
