Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/leases.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -62,12 +62,12 @@
         settings: Periods and limits.
     """
 
-    def __init__(self, me: Vm, settings: LeaseSettings) -> None:
-        self.me = me
+    def __init__(self, local_vm: Vm, settings: LeaseSettings) -> None:
+        self.me = local_vm
         self.settings = settings = settings.within_bounds
         self.holder = Holder()
         self.known_servers = KnownServers(settings)
-        self.exchange = LeaseExchange(me, settings, self.holder)
+        self.exchange = LeaseExchange(local_vm, settings, self.holder)
         self.told = self.exchange.peer_tables
         self.peers: dict[VmId, Vm] = {}
         self.pending_retirements = Notices(settings)
