Rename told to peer_tables

The lease tables of the peers.

Rename: libs/membership/src/kumquatmux_membership/leases.py told peer_tables

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -68,7 +68,7 @@
         self.holder = Holder()
         self.known_servers = KnownServers(settings)
         self.exchange = LeaseExchange(local_vm, settings, self.holder)
-        self.told = self.exchange.peer_tables
+        self.peer_tables = self.exchange.peer_tables
         self.peers: dict[VmId, Vm] = {}
         self.pending_retirements = Notices(settings)
         self.freshness = FreshnessTracker(settings)
@@ -108,7 +108,9 @@
             self.started = now
         self._expire_leases(now)
         self._handle_event(event, now)
-        changed = self.freshness.update(self.holder, self.told, self.known_servers, now)
+        changed = self.freshness.update(
+            self.holder, self.peer_tables, self.known_servers, now
+        )
         if changed is not None:
             self.actions.append(changed)
         return self.actions + self.exchange.pop_outgoing()
--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -275,4 +275,4 @@
     for second in range(0, 800, 5):
         made.handle(Tick(), START + second)
     assert made.freshness.latest == ((), ())
-    assert made.told == {}
+    assert made.peer_tables == {}
