--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -72,7 +72,7 @@
         self.peers: dict[VmId, Vm] = {}
         self.pending_retirements = Notices(settings)
         self.freshness = FreshnessTracker(settings)
-        self.started: float | None = None
+        self.started_at: float | None = None
         self.leaving = False
         self.next_housekeeping = 0.0
         self.actions: list[Action] = []
@@ -104,8 +104,8 @@
             What the caller does; the first is a ``LeaseAnswer`` if a server called.
         """
         self.actions = []
-        if self.started is None:
-            self.started = now
+        if self.started_at is None:
+            self.started_at = now
         self._expire_leases(now)
         self._handle_event(event, now)
         changed = self.freshness.update(
@@ -313,7 +313,7 @@
         return {vm.vm for vm in self.peers.values() if vm.zone in zones}
 
     def _admission_state(self, now: float) -> AdmissionState:
-        started = self.started if self.started is not None else now
+        started = self.started_at if self.started_at is not None else now
         unheard = [
             vm
             for vm in self.peers
