--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -51,7 +51,7 @@
 from kumquatmux_membership.stamps import echoes_own_timestamp
 from kumquatmux_membership.told import PeerLeaseTable
 
-HOUSEKEEPING_SECONDS = 1.0
+HOUSEKEEPING_INTERVAL_SECONDS = 1.0
 
 
 class LeaseTable:
@@ -134,7 +134,7 @@
             )
         if now < self.next_housekeeping:
             return
-        self.next_housekeeping = now + HOUSEKEEPING_SECONDS
+        self.next_housekeeping = now + HOUSEKEEPING_INTERVAL_SECONDS
         self.freshness.dirty |= self.exchange.drop_silent_holders(now)
         for server in self.exchange.held_servers():
             self.known_servers.mark_held(server, now)
