--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -55,7 +55,7 @@
     ) -> None:
         """Bring other periods and timeouts into force at run time."""
         self.membership.settings = membership_settings
-        self.leases.use_settings(lease_settings)
+        self.leases.apply_settings(lease_settings)
 
     def note_settings(self, revision: int, digest: str) -> None:
         """Take the settings revision and digest that heartbeats carry."""
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -82,7 +82,7 @@
         """Time from which the last ``ServersChanged`` may be wrong, in seconds."""
         return min(self.freshness.valid_until, self.holder.next_expiry)
 
-    def use_settings(self, settings: LeaseSettings) -> None:
+    def apply_settings(self, settings: LeaseSettings) -> None:
         """Bring other periods into force; leases that run keep their end."""
         self.settings = settings = settings.within_bounds
         for part in (
