Rename before to cutoff

Usual term for a time limit.

Rename: libs/membership/src/kumquatmux_membership/leases.py before cutoff

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -138,10 +138,10 @@
         self.freshness.dirty |= self.exchange.drop_silent_holders(now)
         for server in self.exchange.held_servers():
             self.known_servers.mark_held(server, now)
-        before = now - self.settings.retired_seconds
-        self.holder.prune(before)
-        self.pending_retirements.prune(before)
-        if self.known_servers.prune(before):
+        cutoff = now - self.settings.retired_seconds
+        self.holder.prune(cutoff)
+        self.pending_retirements.prune(cutoff)
+        if self.known_servers.prune(cutoff):
             self.freshness.dirty = True
 
     @_handle_event.register
