--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -211,8 +211,8 @@
             return
         if not echoes_own_timestamp(message, self.me.incarnation, now):
             return
-        behind = table.record_echo(message)
-        if behind and now - table.requested_at >= self.settings.resend_seconds:
+        is_behind = table.record_echo(message)
+        if is_behind and now - table.requested_at >= self.settings.resend_seconds:
             self.exchange.request_changes(table, now)
 
     @_handle_message.register
