Rename mine to is_own_incarnation

Says what is tested.

Rename: libs/membership/src/kumquatmux_membership/leases.py mine is_own_incarnation

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -234,8 +234,8 @@
 
     @_handle_message.register
     def _receive_request(self, message: LeaseRequest, now: float) -> None:
-        mine = message.incarnation == self.me.incarnation
-        since = message.since_version if mine else 0
+        is_own_incarnation = message.incarnation == self.me.incarnation
+        since = message.since_version if is_own_incarnation else 0
         self.exchange.send_update(message.sender, since, ack_requested=False)
 
     @_handle_message.register
