--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -262,8 +262,8 @@
         if own.lease.service != lease.service:
             return
         if _same_session(own.lease, lease):
-            moved = with_phase(own.lease, phase_of(lease.version))
-            self.holder.hold(moved, own.expires_at)
+            updated = with_phase(own.lease, phase_of(lease.version))
+            self.holder.hold(updated, own.expires_at)
         else:
             self.holder.release(lease.server, now)
 
