Rename warm to waited_long_enough

Says what is tested.

Rename: libs/membership/src/kumquatmux_membership/leases.py warm waited_long_enough

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -319,11 +319,11 @@
             for vm in self.peers
             if self.exchange.peer_table(vm).confirmed_at < started
         ]
-        warm = now - started >= self.settings.stale_seconds
+        waited_long_enough = now - started >= self.settings.stale_seconds
         return AdmissionState(
             local_vm=self.me,
             leaving=self.leaving,
-            peers_consulted=warm or not unheard,
+            peers_consulted=waited_long_enough or not unheard,
             table_full=len(self.holder.held) >= self.settings.max_servers,
         )
 
