--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -314,7 +314,7 @@
 
     def _admission_state(self, now: float) -> AdmissionState:
         started = self.started_at if self.started_at is not None else now
-        unheard = [
+        unconfirmed_peers = [
             vm
             for vm in self.peers
             if self.exchange.peer_table(vm).confirmed_at < started
@@ -323,7 +323,7 @@
         return AdmissionState(
             local_vm=self.me,
             leaving=self.leaving,
-            peers_consulted=waited_long_enough or not unheard,
+            peers_consulted=waited_long_enough or not unconfirmed_peers,
             table_full=len(self.holder.held) >= self.settings.max_servers,
         )
 
