--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -313,13 +313,13 @@
         return {vm.vm for vm in self.peers.values() if vm.zone in zones}
 
     def _admission_state(self, now: float) -> AdmissionState:
-        started = self.started_at if self.started_at is not None else now
+        started_at = self.started_at if self.started_at is not None else now
         unconfirmed_peers = [
             vm
             for vm in self.peers
-            if self.exchange.peer_table(vm).confirmed_at < started
+            if self.exchange.peer_table(vm).confirmed_at < started_at
         ]
-        waited_long_enough = now - started >= self.settings.stale_seconds
+        waited_long_enough = now - started_at >= self.settings.stale_seconds
         return AdmissionState(
             local_vm=self.me,
             leaving=self.leaving,
