Rename before to previous_incarnation

It is an incarnation.

Rename: libs/membership/src/kumquatmux_membership/leases.py before previous_incarnation

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -246,10 +246,10 @@
     def _current_table(self, vm: VmId, incarnation: int) -> PeerLeaseTable | None:
         """Return the table of a holder's present process, None for an earlier one."""
         table = self.exchange.peer_table(vm)
-        before = table.incarnation
+        previous_incarnation = table.incarnation
         if not table.accept_incarnation(incarnation):
             return None
-        self.freshness.dirty |= table.incarnation != before
+        self.freshness.dirty |= table.incarnation != previous_incarnation
         return table
 
     def _merge_lease(self, lease: Lease, now: float) -> None:
