--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -173,9 +173,9 @@
         lease = self._at_latest_phase(lease, phase)
         stamp = event.ticket.stamp if event.ticket else now
         expires = stamp + self.settings.lease_seconds
-        own = self.holder.held.get(lease.server)
-        if own is not None and _same_session(own.lease, lease):
-            expires = max(expires, own.expires_at)
+        held_lease = self.holder.held.get(lease.server)
+        if held_lease is not None and _same_session(held_lease.lease, lease):
+            expires = max(expires, held_lease.expires_at)
         base = self.holder.version
         self._hold(lease, expires, now)
         self.exchange.push_changes(base, now)
