--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -256,14 +256,14 @@
         """Merge what a peer tells of a server, also into what is held here."""
         if lease.held:
             self.known_servers.merge(lease, now)
-        own = self.holder.held.get(lease.server)
-        if own is None or own.lease.version >= lease.version:
+        held_lease = self.holder.held.get(lease.server)
+        if held_lease is None or held_lease.lease.version >= lease.version:
             return
-        if own.lease.service != lease.service:
+        if held_lease.lease.service != lease.service:
             return
-        if _same_session(own.lease, lease):
-            updated = with_phase(own.lease, phase_of(lease.version))
-            self.holder.hold(updated, own.expires_at)
+        if _same_session(held_lease.lease, lease):
+            updated = with_phase(held_lease.lease, phase_of(lease.version))
+            self.holder.hold(updated, held_lease.expires_at)
         else:
             self.holder.release(lease.server, now)
 
