--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -295,8 +295,10 @@
                 self._refuse(event.server, problem, now)
 
     def _start_retirement(self, lease: Lease, now: float) -> None:
-        own = self.holder.held.get(lease.server)
-        expires = own.expires_at if own else now + self.settings.lease_seconds
+        held_lease = self.holder.held.get(lease.server)
+        expires = (
+            held_lease.expires_at if held_lease else now + self.settings.lease_seconds
+        )
         if phase_of(lease.version) == Phase.LEFT:
             expires = now + self.settings.retired_seconds
         base = self.holder.version
