--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -172,12 +172,12 @@
         phase = Phase.DRAINING if lease.draining else Phase.LIVE
         lease = self._at_latest_phase(lease, phase)
         stamp = event.ticket.stamp if event.ticket else now
-        expires = stamp + self.settings.lease_seconds
+        expires_at = stamp + self.settings.lease_seconds
         held_lease = self.holder.held.get(lease.server)
         if held_lease is not None and _same_session(held_lease.lease, lease):
-            expires = max(expires, held_lease.expires_at)
+            expires_at = max(expires_at, held_lease.expires_at)
         base = self.holder.version
-        self._hold(lease, expires, now)
+        self._hold(lease, expires_at, now)
         self.exchange.push_changes(base, now)
         self._answer(lease.server, LeaseState.GRANTED, now)
 
