Rename stamp to issued_at

When the ticket was issued.

Rename: libs/membership/src/kumquatmux_membership/leases.py stamp issued_at

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -171,8 +171,8 @@
     def _grant(self, lease: Lease, event: Announce, now: float) -> None:
         phase = Phase.DRAINING if lease.draining else Phase.LIVE
         lease = self._at_latest_phase(lease, phase)
-        stamp = event.ticket.stamp if event.ticket else now
-        expires_at = stamp + self.settings.lease_seconds
+        issued_at = event.ticket.stamp if event.ticket else now
+        expires_at = issued_at + self.settings.lease_seconds
         held_lease = self.holder.held.get(lease.server)
         if held_lease is not None and _same_session(held_lease.lease, lease):
             expires_at = max(expires_at, held_lease.expires_at)
