Rename witnesses to possible_holders

The VMs that may hold the server.

Rename: libs/membership/src/kumquatmux_membership/leases.py witnesses possible_holders

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -303,11 +303,13 @@
             expires = now + self.settings.retired_seconds
         base = self.holder.version
         self._hold(lease, expires, now)
-        witnesses = self._possible_holders(lease)
-        self.pending_retirements.add(lease, self.holder.version, set(witnesses), now)
-        for vm in sorted(witnesses):
+        possible_holders = self._possible_holders(lease)
+        self.pending_retirements.add(
+            lease, self.holder.version, set(possible_holders), now
+        )
+        for vm in sorted(possible_holders):
             self.exchange.send_update(vm, base, ack_requested=True)
-        self.exchange.push_changes(base, now, skip=witnesses)
+        self.exchange.push_changes(base, now, skip=possible_holders)
 
     def _possible_holders(self, lease: Lease) -> set[VmId]:
         """Return the VMs that may hold a server: those of its zone, if it is known."""
