--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -120,7 +120,7 @@
 
     sender: VmId
     target: VmId
-    number: int
+    probe_id: int
     incarnation: int = 0
 
 
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -244,7 +244,7 @@
         if peer is None or message.incarnation < peer.vm.incarnation:
             return
         self._update_incarnation(peer, message.incarnation)
-        if peer.probe_id != message.number:
+        if peer.probe_id != message.probe_id:
             return
         extension_seconds = (
             self.settings.remove_seconds + self.settings.probe_grace_seconds
