Rename answer to is_reply

Says that the message is a reply; Members.

Rename: libs/membership/src/kumquatmux_membership/events.py answer is_reply

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -218,7 +218,7 @@
 
     sender: VmId
     rumours: tuple[MemberUpdate, ...]
-    answer: bool = False
+    is_reply: bool = False
 
 
 Message = (
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -163,7 +163,7 @@
     def _process_members(self, message: Members, now: float) -> None:
         for update in message.rumours:
             self._process_update(update, now)
-        if not message.answer:
+        if not message.is_reply:
             all_updates = tuple(self.rumours.latest.values())
             self._send(message.sender, Members(self.local_vm.vm, all_updates, True))
 
