Rename rumours to updates

The gossiped membership updates; Members.

Rename: libs/membership/src/kumquatmux_membership/events.py rumours updates

--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -217,7 +217,7 @@
     """
 
     sender: VmId
-    rumours: tuple[MemberUpdate, ...]
+    updates: tuple[MemberUpdate, ...]
     is_reply: bool = False
 
 
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -161,7 +161,7 @@
             self._send(peer.vm.vm, Members(self.local_vm.vm, all_updates))
 
     def _process_members(self, message: Members, now: float) -> None:
-        for update in message.rumours:
+        for update in message.updates:
             self._process_update(update, now)
         if not message.is_reply:
             all_updates = tuple(self.rumours.latest.values())
