--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -48,7 +48,7 @@
 )
 from kumquatmux_membership.settings import LeaseSettings
 from kumquatmux_membership.sharing import LeaseExchange
-from kumquatmux_membership.stamps import echoes_own_timestamp
+from kumquatmux_membership.timestamps import echoes_own_timestamp
 from kumquatmux_membership.told import PeerLeaseTable
 
 HOUSEKEEPING_INTERVAL_SECONDS = 1.0
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -38,7 +38,10 @@
 from kumquatmux_membership.probes import PendingProbes
 from kumquatmux_membership.roster import UNKNOWN_INCARNATION, PeerList
 from kumquatmux_membership.settings import MembershipSettings
-from kumquatmux_membership.stamps import TIMESTAMP_STEP_SECONDS, echoes_own_timestamp
+from kumquatmux_membership.timestamps import (
+    TIMESTAMP_STEP_SECONDS,
+    echoes_own_timestamp,
+)
 from kumquatmux_membership.view import View
 
 INCARNATION_STEP_BITS = 20
