--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -7,9 +7,9 @@
 from kumquatmux_membership.events import Lease, ServersChanged
 from kumquatmux_membership.holder import Holder, without_load_report
 from kumquatmux_membership.known import KnownServers
+from kumquatmux_membership.peer_lease_table import PeerLeaseTable
 from kumquatmux_membership.phases import Phase, phase_of
 from kumquatmux_membership.settings import LeaseSettings
-from kumquatmux_membership.told import PeerLeaseTable
 
 
 class FreshnessTracker:
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -40,6 +40,7 @@
 from kumquatmux_membership.holder import Holder
 from kumquatmux_membership.known import KnownServers
 from kumquatmux_membership.notices import Notices
+from kumquatmux_membership.peer_lease_table import PeerLeaseTable
 from kumquatmux_membership.phases import (
     Phase,
     phase_of,
@@ -49,7 +50,6 @@
 from kumquatmux_membership.settings import LeaseSettings
 from kumquatmux_membership.sharing import LeaseExchange
 from kumquatmux_membership.timestamps import echoes_own_timestamp
-from kumquatmux_membership.told import PeerLeaseTable
 
 HOUSEKEEPING_INTERVAL_SECONDS = 1.0
 
--- a/libs/membership/src/kumquatmux_membership/sharing.py
+++ b/libs/membership/src/kumquatmux_membership/sharing.py
@@ -11,8 +11,8 @@
     SendMessage,
 )
 from kumquatmux_membership.holder import Holder
+from kumquatmux_membership.peer_lease_table import PeerLeaseTable
 from kumquatmux_membership.settings import LeaseSettings
-from kumquatmux_membership.told import PeerLeaseTable
 
 
 class LeaseExchange:
