Rename sharing to lease_exchange

Named after its class.

Rename: libs/membership/src/kumquatmux_membership/leases.py sharing lease_exchange

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -39,6 +39,7 @@
 from kumquatmux_membership.freshness import FreshnessTracker
 from kumquatmux_membership.holder import Holder
 from kumquatmux_membership.known import KnownServers
+from kumquatmux_membership.lease_exchange import LeaseExchange
 from kumquatmux_membership.notices import Notices
 from kumquatmux_membership.peer_lease_table import PeerLeaseTable
 from kumquatmux_membership.phases import (
@@ -48,7 +49,6 @@
     with_phase,
 )
 from kumquatmux_membership.settings import LeaseSettings
-from kumquatmux_membership.sharing import LeaseExchange
 from kumquatmux_membership.timestamps import echoes_own_timestamp
 
 HOUSEKEEPING_INTERVAL_SECONDS = 1.0
