--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -35,8 +35,8 @@
     ViewSuspended,
 )
 from kumquatmux_membership.peer import NEVER, Peer
+from kumquatmux_membership.peer_list import UNKNOWN_INCARNATION, PeerList
 from kumquatmux_membership.probes import PendingProbes
-from kumquatmux_membership.roster import UNKNOWN_INCARNATION, PeerList
 from kumquatmux_membership.settings import MembershipSettings
 from kumquatmux_membership.timestamps import (
     TIMESTAMP_STEP_SECONDS,
