--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -19,9 +19,9 @@
     MemberStatus,
     MemberUpdate,
 )
+from kumquatmux_membership.gossip import GossipState
 from kumquatmux_membership.membership import Membership
 from kumquatmux_membership.peer import NEVER, Peer
-from kumquatmux_membership.rumours import GossipState
 from kumquatmux_membership.settings import MembershipSettings
 
 UPDATE_DELAY_SECONDS = 0.1
--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -7,7 +7,7 @@
 from kumquatmux_lab.faultruns.membership import FaultRun, make_vms
 from kumquatmux_lab.faultruns.membership_world import NetworkSettings, Tuning, World
 from kumquatmux_membership.events import Leave, MemberStatus, MemberUpdate
-from kumquatmux_membership.rumours import GossipState
+from kumquatmux_membership.gossip import GossipState
 from kumquatmux_membership.sampled import ring_neighbours
 from kumquatmux_membership.settings import MembershipSettings
 
