--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -30,7 +30,7 @@
 
 def lease(session=1, service="entries", phase=Phase.LIVE, number=9):
     endpoint = Endpoint(f"127.0.0.{number}", 80)
-    made = Lease(
+    new_lease = Lease(
         ServerId(str(endpoint)),
         endpoint,
         ServiceName(service),
@@ -41,7 +41,7 @@
         False,
         version_of(session, Phase.LIVE),
     )
-    return with_phase(made, phase)
+    return with_phase(new_lease, phase)
 
 
 def table():
