--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -28,7 +28,7 @@
 START = 50.0
 
 
-def lease(session=1, service="entries", phase=Phase.LIVE, number=9):
+def make_lease(session=1, service="entries", phase=Phase.LIVE, number=9):
     endpoint = Endpoint(f"127.0.0.{number}", 80)
     new_lease = Lease(
         ServerId(str(endpoint)),
@@ -93,24 +93,24 @@
 
 def test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_stamp():
     made = table()
-    made.handle(update(1, lease()), START)
-    assert (fresh(made), stale(made)) == ([], [lease().server])
+    made.handle(update(1, make_lease()), START)
+    assert (fresh(made), stale(made)) == ([], [make_lease().server])
     made.handle(beat(1, echo=START - 1.0), START)
-    assert fresh(made) == [lease().server]
+    assert fresh(made) == [make_lease().server]
     assert made.valid_until == START + 1.5
     made.handle(Tick(), START + 1.4)
-    assert fresh(made) == [lease().server]
+    assert fresh(made) == [make_lease().server]
     made.handle(Tick(), START + 1.5)
-    assert (fresh(made), stale(made)) == ([], [lease().server])
+    assert (fresh(made), stale(made)) == ([], [make_lease().server])
 
 
 def test_an_echo_counts_only_for_the_version_that_is_known():
     made = table()
     actions = made.handle(beat(3, echo=START), START)
     assert messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 0, 7)]
-    made.handle(update(2, lease()), START)
+    made.handle(update(2, make_lease()), START)
     assert fresh(made) == []
-    made.handle(update(3, lease(number=8), base=2), START)
+    made.handle(update(3, make_lease(number=8), base=2), START)
     assert len(fresh(made)) == 2
 
 
@@ -127,74 +127,76 @@
 @pytest.mark.parametrize("case", ECHOES)
 def test_a_false_echo_confirms_nothing(case):
     made = table()
-    made.handle(update(1, lease()), START)
+    made.handle(update(1, make_lease()), START)
     made.handle(ECHOES[case], START)
     assert fresh(made) == []
 
 
 def test_a_gap_in_changes_is_asked_for_and_old_ones_are_ignored():
     made = table()
-    made.handle(update(2, lease()), START)
-    gap = made.handle(update(5, lease(number=8), base=4), START)
+    made.handle(update(2, make_lease()), START)
+    gap = made.handle(update(5, make_lease(number=8), base=4), START)
     assert messages(gap, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
-    old = lease()._replace(held=False)
+    old = make_lease()._replace(held=False)
     made.handle(update(2, old, base=1), START)
     made.handle(beat(2, START), START)
-    assert fresh(made) == [lease().server]
-    made.handle(update(6, lease(number=7), complete=True), START)
-    assert fresh(made) == [lease(number=7).server]
+    assert fresh(made) == [make_lease().server]
+    made.handle(update(6, make_lease(number=7), complete=True), START)
+    assert fresh(made) == [make_lease(number=7).server]
 
 
 def test_a_holders_restart_keeps_its_servers_as_stale():
     made = table()
-    made.handle(update(1, lease()), START)
+    made.handle(update(1, make_lease()), START)
     made.handle(beat(1, START), START)
     made.handle(beat(0, START, incarnation=8), START)
-    assert (fresh(made), stale(made)) == ([], [lease().server])
-    assert call(made, Announce(lease()), START).state == LeaseState.GRANTED
-    assert fresh(made) == [lease().server]
+    assert (fresh(made), stale(made)) == ([], [make_lease().server])
+    assert call(made, Announce(make_lease()), START).state == LeaseState.GRANTED
+    assert fresh(made) == [make_lease().server]
 
 
 def test_a_later_phase_told_by_a_peer_ends_what_is_held_here():
     made = table()
-    call(made, Announce(lease()), START)
-    left = lease(phase=Phase.LEFT)
+    call(made, Announce(make_lease()), START)
+    left = make_lease(phase=Phase.LEFT)
     actions = made.handle(update(1, left, ack=True), START)
     assert messages(actions, LeaseAck) == [LeaseAck(ME.vm, 7, 1)]
     assert made.freshness.latest == ((), ())
-    refused = call(made, Announce(lease()), START)
+    refused = call(made, Announce(make_lease()), START)
     assert refused.problem.code == "session-left"
-    assert call(made, Announce(lease(session=2)), START).state == LeaseState.GRANTED
+    assert (
+        call(made, Announce(make_lease(session=2)), START).state == LeaseState.GRANTED
+    )
 
 
 def test_an_address_that_two_services_claim_gets_no_new_work():
     made = table()
-    call(made, Announce(lease()), START)
-    made.handle(update(1, lease(session=9, service="pagesetter")), START)
+    call(made, Announce(make_lease()), START)
+    made.handle(update(1, make_lease(session=9, service="pagesetter")), START)
     made.handle(beat(1, START), START)
-    assert (fresh(made), stale(made)) == ([], [lease().server])
+    assert (fresh(made), stale(made)) == ([], [make_lease().server])
     assert made.freshness.latest.stale[0].service == "entries"
 
 
 def test_a_forged_leave_of_another_service_changes_nothing():
     made = table()
-    call(made, Announce(lease()), START)
-    forged = lease(session=9, service="pagesetter", phase=Phase.LEFT)
+    call(made, Announce(make_lease()), START)
+    forged = make_lease(session=9, service="pagesetter", phase=Phase.LEFT)
     made.handle(update(1, forged), START)
-    assert fresh(made) == [lease().server]
-    depart = Depart(lease().server, 9, ServiceName("pagesetter"))
+    assert fresh(made) == [make_lease().server]
+    depart = Depart(make_lease().server, 9, ServiceName("pagesetter"))
     assert call(made, depart, START).problem.code == "address-taken"
 
 
 def test_a_lease_runs_from_its_ticket_and_ends():
     made = table()
-    first = made.handle(Announce(lease()), START)[0]
-    granted = Announce(lease(), first.ticket)
+    first = made.handle(Announce(make_lease()), START)[0]
+    granted = Announce(make_lease(), first.ticket)
     assert made.handle(granted, START + 2)[0].state == LeaseState.GRANTED
     made.handle(Tick(), START + 3.9)
-    assert fresh(made) == [lease().server]
+    assert fresh(made) == [make_lease().server]
     made.handle(Tick(), START + 4.0)
-    assert (fresh(made), stale(made)) == ([], [lease().server])
+    assert (fresh(made), stale(made)) == ([], [make_lease().server])
     late = made.handle(granted, START + 4.1)[0]
     assert late.problem.code == "ticket-needed"
 
@@ -202,46 +204,46 @@
 @pytest.mark.parametrize("kind", [Drain, Depart])
 def test_a_retirement_is_in_force_when_the_zone_knows_or_leases_have_lapsed(kind):
     made = table()
-    call(made, Announce(lease()), START)
-    actions = made.handle(kind(lease().server), START)
+    call(made, Announce(make_lease()), START)
+    actions = made.handle(kind(make_lease().server), START)
     assert actions[0].state == LeaseState.NOTED
     sent = messages(actions, LeaseUpdate)
     assert [one.ack_requested for one in sent] == [True]
     again = made.handle(Tick(), START + 0.3)
     assert messages(again, LeaseUpdate)[0].version == sent[0].version
-    noted = made.handle(kind(lease().server), START + 4.0)[0]
+    noted = made.handle(kind(make_lease().server), START + 4.0)[0]
     assert noted.state == LeaseState.NOTED
-    lapsed = made.handle(kind(lease().server), START + 4.1)[0]
+    lapsed = made.handle(kind(make_lease().server), START + 4.1)[0]
     assert lapsed.state == LeaseState.IN_FORCE
 
 
 def test_an_acknowledged_retirement_is_in_force_at_once():
     made = table()
-    call(made, Announce(lease()), START)
-    made.handle(Depart(lease().server), START)
+    call(made, Announce(make_lease()), START)
+    made.handle(Depart(make_lease().server), START)
     wrong = LeaseAck(PEER.vm, 99, made.holder.version)
     early = LeaseAck(PEER.vm, 100, made.holder.version - 1)
     for ack in (wrong, early):
         made.handle(Received(ack), START)
-        assert call(made, Depart(lease().server), START).state == LeaseState.NOTED
+        assert call(made, Depart(make_lease().server), START).state == LeaseState.NOTED
     made.handle(Received(LeaseAck(PEER.vm, 100, made.holder.version)), START)
-    assert call(made, Depart(lease().server), START).state == LeaseState.IN_FORCE
+    assert call(made, Depart(make_lease().server), START).state == LeaseState.IN_FORCE
 
 
 def test_a_leave_at_a_vm_that_does_not_know_the_server():
     made = table()
-    server = lease().server
+    server = make_lease().server
     assert call(made, Depart(server), START).problem.code == "server-unknown"
     known = call(made, Depart(server, 3, ServiceName("entries")), START)
     assert known.state == LeaseState.NOTED
-    refused = call(made, Announce(lease(session=3)), START)
+    refused = call(made, Announce(make_lease(session=3)), START)
     assert refused.problem.code == "session-left"
 
 
 def test_a_request_gets_changes_or_all():
     made = table()
-    call(made, Announce(lease()), START)
-    call(made, Announce(lease(number=8)), START)
+    call(made, Announce(make_lease()), START)
+    call(made, Announce(make_lease(number=8)), START)
     answers = []
     for since, incarnation in ((1, 100), (0, 100), (1, 99)):
         request = LeaseRequest(PEER.vm, since, incarnation)
@@ -253,8 +255,8 @@
 def test_a_renewal_sends_nothing():
     made = table()
     made.handle(beat(0, START), START)
-    call(made, Announce(lease()), START)
-    renewal = Announce(lease()._replace(busy=2, open=17))
+    call(made, Announce(make_lease()), START)
+    renewal = Announce(make_lease()._replace(busy=2, open=17))
     first = made.handle(renewal, START + 1)[0]
     actions = made.handle(renewal._replace(ticket=first.ticket), START + 1)
     assert messages(actions, LeaseUpdate) == []
@@ -263,14 +265,14 @@
 def test_a_vm_that_has_not_heard_its_peers_takes_no_unknown_server():
     made = LeaseTable(ME, LeaseSettings())
     made.handle(PeersChanged((PEER,)), START)
-    assert call(made, Announce(lease()), START).problem.code == "vm-starting"
+    assert call(made, Announce(make_lease()), START).problem.code == "vm-starting"
     made.handle(beat(0, START), START)
-    assert call(made, Announce(lease()), START).state == LeaseState.GRANTED
+    assert call(made, Announce(make_lease()), START).state == LeaseState.GRANTED
 
 
 def test_a_holder_silent_for_long_is_forgotten():
     made = table()
-    made.handle(update(1, lease()), START)
+    made.handle(update(1, make_lease()), START)
     made.handle(beat(1, START), START)
     for second in range(0, 800, 5):
         made.handle(Tick(), START + second)
