--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -44,7 +44,7 @@
     return with_phase(new_lease, phase)
 
 
-def table():
+def make_table():
     made = LeaseTable(ME, LeaseSettings())
     made.handle(Tick(), START - 10)
     made.handle(PeersChanged((PEER,)), START - 10)
@@ -92,7 +92,7 @@
 
 
 def test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_stamp():
-    made = table()
+    made = make_table()
     made.handle(update(1, make_lease()), START)
     assert (fresh(made), stale(made)) == ([], [make_lease().server])
     made.handle(beat(1, echo=START - 1.0), START)
@@ -105,7 +105,7 @@
 
 
 def test_an_echo_counts_only_for_the_version_that_is_known():
-    made = table()
+    made = make_table()
     actions = made.handle(beat(3, echo=START), START)
     assert messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 0, 7)]
     made.handle(update(2, make_lease()), START)
@@ -126,14 +126,14 @@
 
 @pytest.mark.parametrize("case", ECHOES)
 def test_a_false_echo_confirms_nothing(case):
-    made = table()
+    made = make_table()
     made.handle(update(1, make_lease()), START)
     made.handle(ECHOES[case], START)
     assert fresh(made) == []
 
 
 def test_a_gap_in_changes_is_asked_for_and_old_ones_are_ignored():
-    made = table()
+    made = make_table()
     made.handle(update(2, make_lease()), START)
     gap = made.handle(update(5, make_lease(number=8), base=4), START)
     assert messages(gap, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
@@ -146,7 +146,7 @@
 
 
 def test_a_holders_restart_keeps_its_servers_as_stale():
-    made = table()
+    made = make_table()
     made.handle(update(1, make_lease()), START)
     made.handle(beat(1, START), START)
     made.handle(beat(0, START, incarnation=8), START)
@@ -156,7 +156,7 @@
 
 
 def test_a_later_phase_told_by_a_peer_ends_what_is_held_here():
-    made = table()
+    made = make_table()
     call(made, Announce(make_lease()), START)
     left = make_lease(phase=Phase.LEFT)
     actions = made.handle(update(1, left, ack=True), START)
@@ -170,7 +170,7 @@
 
 
 def test_an_address_that_two_services_claim_gets_no_new_work():
-    made = table()
+    made = make_table()
     call(made, Announce(make_lease()), START)
     made.handle(update(1, make_lease(session=9, service="pagesetter")), START)
     made.handle(beat(1, START), START)
@@ -179,7 +179,7 @@
 
 
 def test_a_forged_leave_of_another_service_changes_nothing():
-    made = table()
+    made = make_table()
     call(made, Announce(make_lease()), START)
     forged = make_lease(session=9, service="pagesetter", phase=Phase.LEFT)
     made.handle(update(1, forged), START)
@@ -189,7 +189,7 @@
 
 
 def test_a_lease_runs_from_its_ticket_and_ends():
-    made = table()
+    made = make_table()
     first = made.handle(Announce(make_lease()), START)[0]
     granted = Announce(make_lease(), first.ticket)
     assert made.handle(granted, START + 2)[0].state == LeaseState.GRANTED
@@ -203,7 +203,7 @@
 
 @pytest.mark.parametrize("kind", [Drain, Depart])
 def test_a_retirement_is_in_force_when_the_zone_knows_or_leases_have_lapsed(kind):
-    made = table()
+    made = make_table()
     call(made, Announce(make_lease()), START)
     actions = made.handle(kind(make_lease().server), START)
     assert actions[0].state == LeaseState.NOTED
@@ -218,7 +218,7 @@
 
 
 def test_an_acknowledged_retirement_is_in_force_at_once():
-    made = table()
+    made = make_table()
     call(made, Announce(make_lease()), START)
     made.handle(Depart(make_lease().server), START)
     wrong = LeaseAck(PEER.vm, 99, made.holder.version)
@@ -231,7 +231,7 @@
 
 
 def test_a_leave_at_a_vm_that_does_not_know_the_server():
-    made = table()
+    made = make_table()
     server = make_lease().server
     assert call(made, Depart(server), START).problem.code == "server-unknown"
     known = call(made, Depart(server, 3, ServiceName("entries")), START)
@@ -241,7 +241,7 @@
 
 
 def test_a_request_gets_changes_or_all():
-    made = table()
+    made = make_table()
     call(made, Announce(make_lease()), START)
     call(made, Announce(make_lease(number=8)), START)
     answers = []
@@ -253,7 +253,7 @@
 
 
 def test_a_renewal_sends_nothing():
-    made = table()
+    made = make_table()
     made.handle(beat(0, START), START)
     call(made, Announce(make_lease()), START)
     renewal = Announce(make_lease()._replace(busy=2, open=17))
@@ -271,7 +271,7 @@
 
 
 def test_a_holder_silent_for_long_is_forgotten():
-    made = table()
+    made = make_table()
     made.handle(update(1, make_lease()), START)
     made.handle(beat(1, START), START)
     for second in range(0, 800, 5):
