--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -51,7 +51,7 @@
     return made
 
 
-def beat(leases, echo, incarnation=7):
+def heartbeat_received(leases, echo, incarnation=7):
     message = Heartbeat(
         PEER.vm, incarnation, 1.0, echo, 0, "", leases, echoed_incarnation=100
     )
@@ -95,7 +95,7 @@
     made = make_table()
     made.handle(update(1, make_lease()), START)
     assert (fresh(made), stale(made)) == ([], [make_lease().server])
-    made.handle(beat(1, echo=START - 1.0), START)
+    made.handle(heartbeat_received(1, echo=START - 1.0), START)
     assert fresh(made) == [make_lease().server]
     assert made.valid_until == START + 1.5
     made.handle(Tick(), START + 1.4)
@@ -106,7 +106,7 @@
 
 def test_an_echo_counts_only_for_the_version_that_is_known():
     made = make_table()
-    actions = made.handle(beat(3, echo=START), START)
+    actions = made.handle(heartbeat_received(3, echo=START), START)
     assert messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 0, 7)]
     made.handle(update(2, make_lease()), START)
     assert fresh(made) == []
@@ -115,12 +115,12 @@
 
 
 ECHOES = {
-    "of another incarnation": beat(1, START)._replace(
-        message=beat(1, START).message._replace(echoed_incarnation=99)
+    "of another incarnation": heartbeat_received(1, START)._replace(
+        message=heartbeat_received(1, START).message._replace(echoed_incarnation=99)
     ),
-    "from the future": beat(1, START + 5),
-    "of nothing": beat(1, 0.0),
-    "of an older sender": beat(1, START, incarnation=6),
+    "from the future": heartbeat_received(1, START + 5),
+    "of nothing": heartbeat_received(1, 0.0),
+    "of an older sender": heartbeat_received(1, START, incarnation=6),
 }
 
 
@@ -139,7 +139,7 @@
     assert messages(gap, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
     old = make_lease()._replace(held=False)
     made.handle(update(2, old, base=1), START)
-    made.handle(beat(2, START), START)
+    made.handle(heartbeat_received(2, START), START)
     assert fresh(made) == [make_lease().server]
     made.handle(update(6, make_lease(number=7), complete=True), START)
     assert fresh(made) == [make_lease(number=7).server]
@@ -148,8 +148,8 @@
 def test_a_holders_restart_keeps_its_servers_as_stale():
     made = make_table()
     made.handle(update(1, make_lease()), START)
-    made.handle(beat(1, START), START)
-    made.handle(beat(0, START, incarnation=8), START)
+    made.handle(heartbeat_received(1, START), START)
+    made.handle(heartbeat_received(0, START, incarnation=8), START)
     assert (fresh(made), stale(made)) == ([], [make_lease().server])
     assert call(made, Announce(make_lease()), START).state == LeaseState.GRANTED
     assert fresh(made) == [make_lease().server]
@@ -173,7 +173,7 @@
     made = make_table()
     call(made, Announce(make_lease()), START)
     made.handle(update(1, make_lease(session=9, service="pagesetter")), START)
-    made.handle(beat(1, START), START)
+    made.handle(heartbeat_received(1, START), START)
     assert (fresh(made), stale(made)) == ([], [make_lease().server])
     assert made.freshness.latest.stale[0].service == "entries"
 
@@ -254,7 +254,7 @@
 
 def test_a_renewal_sends_nothing():
     made = make_table()
-    made.handle(beat(0, START), START)
+    made.handle(heartbeat_received(0, START), START)
     call(made, Announce(make_lease()), START)
     renewal = Announce(make_lease()._replace(busy=2, open=17))
     first = made.handle(renewal, START + 1)[0]
@@ -266,14 +266,14 @@
     made = LeaseTable(ME, LeaseSettings())
     made.handle(PeersChanged((PEER,)), START)
     assert call(made, Announce(make_lease()), START).problem.code == "vm-starting"
-    made.handle(beat(0, START), START)
+    made.handle(heartbeat_received(0, START), START)
     assert call(made, Announce(make_lease()), START).state == LeaseState.GRANTED
 
 
 def test_a_holder_silent_for_long_is_forgotten():
     made = make_table()
     made.handle(update(1, make_lease()), START)
-    made.handle(beat(1, START), START)
+    made.handle(heartbeat_received(1, START), START)
     for second in range(0, 800, 5):
         made.handle(Tick(), START + second)
     assert made.freshness.latest == ((), ())
