--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -58,7 +58,7 @@
     return Received(message)
 
 
-def update(version, *leases, base=0, complete=False, incarnation=7, ack=False):
+def update_received(version, *leases, base=0, complete=False, incarnation=7, ack=False):
     message = LeaseUpdate(
         PEER.vm,
         incarnation,
@@ -93,7 +93,7 @@
 
 def test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_stamp():
     made = make_table()
-    made.handle(update(1, make_lease()), START)
+    made.handle(update_received(1, make_lease()), START)
     assert (fresh(made), stale(made)) == ([], [make_lease().server])
     made.handle(heartbeat_received(1, echo=START - 1.0), START)
     assert fresh(made) == [make_lease().server]
@@ -108,9 +108,9 @@
     made = make_table()
     actions = made.handle(heartbeat_received(3, echo=START), START)
     assert messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 0, 7)]
-    made.handle(update(2, make_lease()), START)
+    made.handle(update_received(2, make_lease()), START)
     assert fresh(made) == []
-    made.handle(update(3, make_lease(number=8), base=2), START)
+    made.handle(update_received(3, make_lease(number=8), base=2), START)
     assert len(fresh(made)) == 2
 
 
@@ -127,27 +127,27 @@
 @pytest.mark.parametrize("case", ECHOES)
 def test_a_false_echo_confirms_nothing(case):
     made = make_table()
-    made.handle(update(1, make_lease()), START)
+    made.handle(update_received(1, make_lease()), START)
     made.handle(ECHOES[case], START)
     assert fresh(made) == []
 
 
 def test_a_gap_in_changes_is_asked_for_and_old_ones_are_ignored():
     made = make_table()
-    made.handle(update(2, make_lease()), START)
-    gap = made.handle(update(5, make_lease(number=8), base=4), START)
+    made.handle(update_received(2, make_lease()), START)
+    gap = made.handle(update_received(5, make_lease(number=8), base=4), START)
     assert messages(gap, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
     old = make_lease()._replace(held=False)
-    made.handle(update(2, old, base=1), START)
+    made.handle(update_received(2, old, base=1), START)
     made.handle(heartbeat_received(2, START), START)
     assert fresh(made) == [make_lease().server]
-    made.handle(update(6, make_lease(number=7), complete=True), START)
+    made.handle(update_received(6, make_lease(number=7), complete=True), START)
     assert fresh(made) == [make_lease(number=7).server]
 
 
 def test_a_holders_restart_keeps_its_servers_as_stale():
     made = make_table()
-    made.handle(update(1, make_lease()), START)
+    made.handle(update_received(1, make_lease()), START)
     made.handle(heartbeat_received(1, START), START)
     made.handle(heartbeat_received(0, START, incarnation=8), START)
     assert (fresh(made), stale(made)) == ([], [make_lease().server])
@@ -159,7 +159,7 @@
     made = make_table()
     call(made, Announce(make_lease()), START)
     left = make_lease(phase=Phase.LEFT)
-    actions = made.handle(update(1, left, ack=True), START)
+    actions = made.handle(update_received(1, left, ack=True), START)
     assert messages(actions, LeaseAck) == [LeaseAck(ME.vm, 7, 1)]
     assert made.freshness.latest == ((), ())
     refused = call(made, Announce(make_lease()), START)
@@ -172,7 +172,7 @@
 def test_an_address_that_two_services_claim_gets_no_new_work():
     made = make_table()
     call(made, Announce(make_lease()), START)
-    made.handle(update(1, make_lease(session=9, service="pagesetter")), START)
+    made.handle(update_received(1, make_lease(session=9, service="pagesetter")), START)
     made.handle(heartbeat_received(1, START), START)
     assert (fresh(made), stale(made)) == ([], [make_lease().server])
     assert made.freshness.latest.stale[0].service == "entries"
@@ -182,7 +182,7 @@
     made = make_table()
     call(made, Announce(make_lease()), START)
     forged = make_lease(session=9, service="pagesetter", phase=Phase.LEFT)
-    made.handle(update(1, forged), START)
+    made.handle(update_received(1, forged), START)
     assert fresh(made) == [make_lease().server]
     depart = Depart(make_lease().server, 9, ServiceName("pagesetter"))
     assert call(made, depart, START).problem.code == "address-taken"
@@ -272,7 +272,7 @@
 
 def test_a_holder_silent_for_long_is_forgotten():
     made = make_table()
-    made.handle(update(1, make_lease()), START)
+    made.handle(update_received(1, make_lease()), START)
     made.handle(heartbeat_received(1, START), START)
     for second in range(0, 800, 5):
         made.handle(Tick(), START + second)
