--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -71,7 +71,7 @@
     return Received(message)
 
 
-def fresh(made):
+def fresh_servers(made):
     return [one.server for one in made.freshness.latest.fresh]
 
 
@@ -94,14 +94,14 @@
 def test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_stamp():
     made = make_table()
     made.handle(update_received(1, make_lease()), START)
-    assert (fresh(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
     made.handle(heartbeat_received(1, echo=START - 1.0), START)
-    assert fresh(made) == [make_lease().server]
+    assert fresh_servers(made) == [make_lease().server]
     assert made.valid_until == START + 1.5
     made.handle(Tick(), START + 1.4)
-    assert fresh(made) == [make_lease().server]
+    assert fresh_servers(made) == [make_lease().server]
     made.handle(Tick(), START + 1.5)
-    assert (fresh(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
 
 
 def test_an_echo_counts_only_for_the_version_that_is_known():
@@ -109,9 +109,9 @@
     actions = made.handle(heartbeat_received(3, echo=START), START)
     assert messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 0, 7)]
     made.handle(update_received(2, make_lease()), START)
-    assert fresh(made) == []
+    assert fresh_servers(made) == []
     made.handle(update_received(3, make_lease(number=8), base=2), START)
-    assert len(fresh(made)) == 2
+    assert len(fresh_servers(made)) == 2
 
 
 ECHOES = {
@@ -129,7 +129,7 @@
     made = make_table()
     made.handle(update_received(1, make_lease()), START)
     made.handle(ECHOES[case], START)
-    assert fresh(made) == []
+    assert fresh_servers(made) == []
 
 
 def test_a_gap_in_changes_is_asked_for_and_old_ones_are_ignored():
@@ -140,9 +140,9 @@
     old = make_lease()._replace(held=False)
     made.handle(update_received(2, old, base=1), START)
     made.handle(heartbeat_received(2, START), START)
-    assert fresh(made) == [make_lease().server]
+    assert fresh_servers(made) == [make_lease().server]
     made.handle(update_received(6, make_lease(number=7), complete=True), START)
-    assert fresh(made) == [make_lease(number=7).server]
+    assert fresh_servers(made) == [make_lease(number=7).server]
 
 
 def test_a_holders_restart_keeps_its_servers_as_stale():
@@ -150,9 +150,9 @@
     made.handle(update_received(1, make_lease()), START)
     made.handle(heartbeat_received(1, START), START)
     made.handle(heartbeat_received(0, START, incarnation=8), START)
-    assert (fresh(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
     assert call(made, Announce(make_lease()), START).state == LeaseState.GRANTED
-    assert fresh(made) == [make_lease().server]
+    assert fresh_servers(made) == [make_lease().server]
 
 
 def test_a_later_phase_told_by_a_peer_ends_what_is_held_here():
@@ -174,7 +174,7 @@
     call(made, Announce(make_lease()), START)
     made.handle(update_received(1, make_lease(session=9, service="pagesetter")), START)
     made.handle(heartbeat_received(1, START), START)
-    assert (fresh(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
     assert made.freshness.latest.stale[0].service == "entries"
 
 
@@ -183,7 +183,7 @@
     call(made, Announce(make_lease()), START)
     forged = make_lease(session=9, service="pagesetter", phase=Phase.LEFT)
     made.handle(update_received(1, forged), START)
-    assert fresh(made) == [make_lease().server]
+    assert fresh_servers(made) == [make_lease().server]
     depart = Depart(make_lease().server, 9, ServiceName("pagesetter"))
     assert call(made, depart, START).problem.code == "address-taken"
 
@@ -194,9 +194,9 @@
     granted = Announce(make_lease(), first.ticket)
     assert made.handle(granted, START + 2)[0].state == LeaseState.GRANTED
     made.handle(Tick(), START + 3.9)
-    assert fresh(made) == [make_lease().server]
+    assert fresh_servers(made) == [make_lease().server]
     made.handle(Tick(), START + 4.0)
-    assert (fresh(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
     late = made.handle(granted, START + 4.1)[0]
     assert late.problem.code == "ticket-needed"
 
