--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -75,7 +75,7 @@
     return [one.server for one in made.freshness.latest.fresh]
 
 
-def stale(made):
+def stale_servers(made):
     return [one.server for one in made.freshness.latest.stale]
 
 
@@ -94,14 +94,14 @@
 def test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_stamp():
     made = make_table()
     made.handle(update_received(1, make_lease()), START)
-    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale_servers(made)) == ([], [make_lease().server])
     made.handle(heartbeat_received(1, echo=START - 1.0), START)
     assert fresh_servers(made) == [make_lease().server]
     assert made.valid_until == START + 1.5
     made.handle(Tick(), START + 1.4)
     assert fresh_servers(made) == [make_lease().server]
     made.handle(Tick(), START + 1.5)
-    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale_servers(made)) == ([], [make_lease().server])
 
 
 def test_an_echo_counts_only_for_the_version_that_is_known():
@@ -150,7 +150,7 @@
     made.handle(update_received(1, make_lease()), START)
     made.handle(heartbeat_received(1, START), START)
     made.handle(heartbeat_received(0, START, incarnation=8), START)
-    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale_servers(made)) == ([], [make_lease().server])
     assert call(made, Announce(make_lease()), START).state == LeaseState.GRANTED
     assert fresh_servers(made) == [make_lease().server]
 
@@ -174,7 +174,7 @@
     call(made, Announce(make_lease()), START)
     made.handle(update_received(1, make_lease(session=9, service="pagesetter")), START)
     made.handle(heartbeat_received(1, START), START)
-    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale_servers(made)) == ([], [make_lease().server])
     assert made.freshness.latest.stale[0].service == "entries"
 
 
@@ -196,7 +196,7 @@
     made.handle(Tick(), START + 3.9)
     assert fresh_servers(made) == [make_lease().server]
     made.handle(Tick(), START + 4.0)
-    assert (fresh_servers(made), stale(made)) == ([], [make_lease().server])
+    assert (fresh_servers(made), stale_servers(made)) == ([], [make_lease().server])
     late = made.handle(granted, START + 4.1)[0]
     assert late.problem.code == "ticket-needed"
 
