--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -79,7 +79,7 @@
     return [one.server for one in made.freshness.latest.stale]
 
 
-def messages(actions, kind):
+def sent_messages(actions, kind):
     sent = [one.message for one in actions if isinstance(one, SendMessage)]
     return [one for one in sent if isinstance(one, kind)]
 
@@ -107,7 +107,7 @@
 def test_an_echo_counts_only_for_the_version_that_is_known():
     made = make_table()
     actions = made.handle(heartbeat_received(3, echo=START), START)
-    assert messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 0, 7)]
+    assert sent_messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 0, 7)]
     made.handle(update_received(2, make_lease()), START)
     assert fresh_servers(made) == []
     made.handle(update_received(3, make_lease(number=8), base=2), START)
@@ -136,7 +136,7 @@
     made = make_table()
     made.handle(update_received(2, make_lease()), START)
     gap = made.handle(update_received(5, make_lease(number=8), base=4), START)
-    assert messages(gap, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
+    assert sent_messages(gap, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
     old = make_lease()._replace(held=False)
     made.handle(update_received(2, old, base=1), START)
     made.handle(heartbeat_received(2, START), START)
@@ -160,7 +160,7 @@
     call(made, Announce(make_lease()), START)
     left = make_lease(phase=Phase.LEFT)
     actions = made.handle(update_received(1, left, ack=True), START)
-    assert messages(actions, LeaseAck) == [LeaseAck(ME.vm, 7, 1)]
+    assert sent_messages(actions, LeaseAck) == [LeaseAck(ME.vm, 7, 1)]
     assert made.freshness.latest == ((), ())
     refused = call(made, Announce(make_lease()), START)
     assert refused.problem.code == "session-left"
@@ -207,10 +207,10 @@
     call(made, Announce(make_lease()), START)
     actions = made.handle(kind(make_lease().server), START)
     assert actions[0].state == LeaseState.NOTED
-    sent = messages(actions, LeaseUpdate)
+    sent = sent_messages(actions, LeaseUpdate)
     assert [one.ack_requested for one in sent] == [True]
     again = made.handle(Tick(), START + 0.3)
-    assert messages(again, LeaseUpdate)[0].version == sent[0].version
+    assert sent_messages(again, LeaseUpdate)[0].version == sent[0].version
     noted = made.handle(kind(make_lease().server), START + 4.0)[0]
     assert noted.state == LeaseState.NOTED
     lapsed = made.handle(kind(make_lease().server), START + 4.1)[0]
@@ -247,7 +247,7 @@
     answers = []
     for since, incarnation in ((1, 100), (0, 100), (1, 99)):
         request = LeaseRequest(PEER.vm, since, incarnation)
-        sent = messages(made.handle(Received(request), START), LeaseUpdate)[0]
+        sent = sent_messages(made.handle(Received(request), START), LeaseUpdate)[0]
         answers.append((sent.is_complete, len(sent.leases), sent.version))
     assert answers == [(False, 1, 2), (True, 2, 2), (True, 2, 2)]
 
@@ -259,7 +259,7 @@
     renewal = Announce(make_lease()._replace(busy=2, open=17))
     first = made.handle(renewal, START + 1)[0]
     actions = made.handle(renewal._replace(ticket=first.ticket), START + 1)
-    assert messages(actions, LeaseUpdate) == []
+    assert sent_messages(actions, LeaseUpdate) == []
 
 
 def test_a_vm_that_has_not_heard_its_peers_takes_no_unknown_server():
