--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -84,7 +84,7 @@
     return [one for one in sent if isinstance(one, kind)]
 
 
-def call(made, event, now):
+def call_with_ticket(made, event, now):
     answer = made.handle(event, now)[0]
     if answer.problem and answer.problem.code == "ticket-needed":
         answer = made.handle(event._replace(ticket=answer.ticket), now)[0]
@@ -151,27 +151,31 @@
     made.handle(heartbeat_received(1, START), START)
     made.handle(heartbeat_received(0, START, incarnation=8), START)
     assert (fresh_servers(made), stale_servers(made)) == ([], [make_lease().server])
-    assert call(made, Announce(make_lease()), START).state == LeaseState.GRANTED
+    assert (
+        call_with_ticket(made, Announce(make_lease()), START).state
+        == LeaseState.GRANTED
+    )
     assert fresh_servers(made) == [make_lease().server]
 
 
 def test_a_later_phase_told_by_a_peer_ends_what_is_held_here():
     made = make_table()
-    call(made, Announce(make_lease()), START)
+    call_with_ticket(made, Announce(make_lease()), START)
     left = make_lease(phase=Phase.LEFT)
     actions = made.handle(update_received(1, left, ack=True), START)
     assert sent_messages(actions, LeaseAck) == [LeaseAck(ME.vm, 7, 1)]
     assert made.freshness.latest == ((), ())
-    refused = call(made, Announce(make_lease()), START)
+    refused = call_with_ticket(made, Announce(make_lease()), START)
     assert refused.problem.code == "session-left"
     assert (
-        call(made, Announce(make_lease(session=2)), START).state == LeaseState.GRANTED
+        call_with_ticket(made, Announce(make_lease(session=2)), START).state
+        == LeaseState.GRANTED
     )
 
 
 def test_an_address_that_two_services_claim_gets_no_new_work():
     made = make_table()
-    call(made, Announce(make_lease()), START)
+    call_with_ticket(made, Announce(make_lease()), START)
     made.handle(update_received(1, make_lease(session=9, service="pagesetter")), START)
     made.handle(heartbeat_received(1, START), START)
     assert (fresh_servers(made), stale_servers(made)) == ([], [make_lease().server])
@@ -180,12 +184,12 @@
 
 def test_a_forged_leave_of_another_service_changes_nothing():
     made = make_table()
-    call(made, Announce(make_lease()), START)
+    call_with_ticket(made, Announce(make_lease()), START)
     forged = make_lease(session=9, service="pagesetter", phase=Phase.LEFT)
     made.handle(update_received(1, forged), START)
     assert fresh_servers(made) == [make_lease().server]
     depart = Depart(make_lease().server, 9, ServiceName("pagesetter"))
-    assert call(made, depart, START).problem.code == "address-taken"
+    assert call_with_ticket(made, depart, START).problem.code == "address-taken"
 
 
 def test_a_lease_runs_from_its_ticket_and_ends():
@@ -204,7 +208,7 @@
 @pytest.mark.parametrize("kind", [Drain, Depart])
 def test_a_retirement_is_in_force_when_the_zone_knows_or_leases_have_lapsed(kind):
     made = make_table()
-    call(made, Announce(make_lease()), START)
+    call_with_ticket(made, Announce(make_lease()), START)
     actions = made.handle(kind(make_lease().server), START)
     assert actions[0].state == LeaseState.NOTED
     sent = sent_messages(actions, LeaseUpdate)
@@ -219,31 +223,39 @@
 
 def test_an_acknowledged_retirement_is_in_force_at_once():
     made = make_table()
-    call(made, Announce(make_lease()), START)
+    call_with_ticket(made, Announce(make_lease()), START)
     made.handle(Depart(make_lease().server), START)
     wrong = LeaseAck(PEER.vm, 99, made.holder.version)
     early = LeaseAck(PEER.vm, 100, made.holder.version - 1)
     for ack in (wrong, early):
         made.handle(Received(ack), START)
-        assert call(made, Depart(make_lease().server), START).state == LeaseState.NOTED
+        assert (
+            call_with_ticket(made, Depart(make_lease().server), START).state
+            == LeaseState.NOTED
+        )
     made.handle(Received(LeaseAck(PEER.vm, 100, made.holder.version)), START)
-    assert call(made, Depart(make_lease().server), START).state == LeaseState.IN_FORCE
+    assert (
+        call_with_ticket(made, Depart(make_lease().server), START).state
+        == LeaseState.IN_FORCE
+    )
 
 
 def test_a_leave_at_a_vm_that_does_not_know_the_server():
     made = make_table()
     server = make_lease().server
-    assert call(made, Depart(server), START).problem.code == "server-unknown"
-    known = call(made, Depart(server, 3, ServiceName("entries")), START)
+    assert (
+        call_with_ticket(made, Depart(server), START).problem.code == "server-unknown"
+    )
+    known = call_with_ticket(made, Depart(server, 3, ServiceName("entries")), START)
     assert known.state == LeaseState.NOTED
-    refused = call(made, Announce(make_lease(session=3)), START)
+    refused = call_with_ticket(made, Announce(make_lease(session=3)), START)
     assert refused.problem.code == "session-left"
 
 
 def test_a_request_gets_changes_or_all():
     made = make_table()
-    call(made, Announce(make_lease()), START)
-    call(made, Announce(make_lease(number=8)), START)
+    call_with_ticket(made, Announce(make_lease()), START)
+    call_with_ticket(made, Announce(make_lease(number=8)), START)
     answers = []
     for since, incarnation in ((1, 100), (0, 100), (1, 99)):
         request = LeaseRequest(PEER.vm, since, incarnation)
@@ -255,7 +267,7 @@
 def test_a_renewal_sends_nothing():
     made = make_table()
     made.handle(heartbeat_received(0, START), START)
-    call(made, Announce(make_lease()), START)
+    call_with_ticket(made, Announce(make_lease()), START)
     renewal = Announce(make_lease()._replace(busy=2, open=17))
     first = made.handle(renewal, START + 1)[0]
     actions = made.handle(renewal._replace(ticket=first.ticket), START + 1)
@@ -265,9 +277,15 @@
 def test_a_vm_that_has_not_heard_its_peers_takes_no_unknown_server():
     made = LeaseTable(ME, LeaseSettings())
     made.handle(PeersChanged((PEER,)), START)
-    assert call(made, Announce(make_lease()), START).problem.code == "vm-starting"
+    assert (
+        call_with_ticket(made, Announce(make_lease()), START).problem.code
+        == "vm-starting"
+    )
     made.handle(heartbeat_received(0, START), START)
-    assert call(made, Announce(make_lease()), START).state == LeaseState.GRANTED
+    assert (
+        call_with_ticket(made, Announce(make_lease()), START).state
+        == LeaseState.GRANTED
+    )
 
 
 def test_a_holder_silent_for_long_is_forgotten():
