--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -80,7 +80,7 @@
 
 
 def sent_messages(actions, kind):
-    sent = [one.message for one in actions if isinstance(one, SendMessage)]
+    sent = [action.message for action in actions if isinstance(one, SendMessage)]
     return [one for one in sent if isinstance(one, kind)]
 
 
