--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -81,7 +81,7 @@
 
 def sent_messages(actions, kind):
     sent = [action.message for action in actions if isinstance(one, SendMessage)]
-    return [one for one in sent if isinstance(one, kind)]
+    return [message for message in sent if isinstance(one, kind)]
 
 
 def call_with_ticket(made, event, now):
