--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -114,7 +114,7 @@
     assert len(fresh_servers(made)) == 2
 
 
-ECHOES = {
+INVALID_ECHOES = {
     "of another incarnation": heartbeat_received(1, START)._replace(
         message=heartbeat_received(1, START).message._replace(echoed_incarnation=99)
     ),
@@ -124,11 +124,11 @@
 }
 
 
-@pytest.mark.parametrize("case", ECHOES)
+@pytest.mark.parametrize("case", INVALID_ECHOES)
 def test_a_false_echo_confirms_nothing(case):
     made = make_table()
     made.handle(update_received(1, make_lease()), START)
-    made.handle(ECHOES[case], START)
+    made.handle(INVALID_ECHOES[case], START)
     assert fresh_servers(made) == []
 
 
