--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -246,8 +246,8 @@
     assert (
         call_with_ticket(made, Depart(server), START).problem.code == "server-unknown"
     )
-    known = call_with_ticket(made, Depart(server, 3, ServiceName("entries")), START)
-    assert known.state == LeaseState.NOTED
+    answer = call_with_ticket(made, Depart(server, 3, ServiceName("entries")), START)
+    assert answer.state == LeaseState.NOTED
     refused = call_with_ticket(made, Announce(make_lease(session=3)), START)
     assert refused.problem.code == "session-left"
 
