--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -195,13 +195,13 @@
 def test_a_lease_runs_from_its_ticket_and_ends():
     made = make_table()
     first = made.handle(Announce(make_lease()), START)[0]
-    granted = Announce(make_lease(), first.ticket)
-    assert made.handle(granted, START + 2)[0].state == LeaseState.GRANTED
+    announce = Announce(make_lease(), first.ticket)
+    assert made.handle(announce, START + 2)[0].state == LeaseState.GRANTED
     made.handle(Tick(), START + 3.9)
     assert fresh_servers(made) == [make_lease().server]
     made.handle(Tick(), START + 4.0)
     assert (fresh_servers(made), stale_servers(made)) == ([], [make_lease().server])
-    late = made.handle(granted, START + 4.1)[0]
+    late = made.handle(announce, START + 4.1)[0]
     assert late.problem.code == "ticket-needed"
 
 
