--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -137,8 +137,8 @@
     made.handle(update_received(2, make_lease()), START)
     gap = made.handle(update_received(5, make_lease(number=8), base=4), START)
     assert sent_messages(gap, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
-    old = make_lease()._replace(held=False)
-    made.handle(update_received(2, old, base=1), START)
+    released = make_lease()._replace(held=False)
+    made.handle(update_received(2, released, base=1), START)
     made.handle(heartbeat_received(2, START), START)
     assert fresh_servers(made) == [make_lease().server]
     made.handle(update_received(6, make_lease(number=7), complete=True), START)
