--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -135,8 +135,8 @@
 def test_a_gap_in_changes_is_asked_for_and_old_ones_are_ignored():
     made = make_table()
     made.handle(update_received(2, make_lease()), START)
-    gap = made.handle(update_received(5, make_lease(number=8), base=4), START)
-    assert sent_messages(gap, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
+    actions = made.handle(update_received(5, make_lease(number=8), base=4), START)
+    assert sent_messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
     released = make_lease()._replace(held=False)
     made.handle(update_received(2, released, base=1), START)
     made.handle(heartbeat_received(2, START), START)
