--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -226,8 +226,8 @@
     call_with_ticket(made, Announce(make_lease()), START)
     made.handle(Depart(make_lease().server), START)
     wrong_incarnation = LeaseAck(PEER.vm, 99, made.holder.version)
-    early = LeaseAck(PEER.vm, 100, made.holder.version - 1)
-    for ack in (wrong_incarnation, early):
+    earlier_version = LeaseAck(PEER.vm, 100, made.holder.version - 1)
+    for ack in (wrong_incarnation, earlier_version):
         made.handle(Received(ack), START)
         assert (
             call_with_ticket(made, Depart(make_lease().server), START).state
