--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -213,8 +213,8 @@
     assert actions[0].state == LeaseState.NOTED
     sent = sent_messages(actions, LeaseUpdate)
     assert [message.ack_requested for message in sent] == [True]
-    again = made.handle(Tick(), START + 0.3)
-    assert sent_messages(again, LeaseUpdate)[0].version == sent[0].version
+    resend = made.handle(Tick(), START + 0.3)
+    assert sent_messages(resend, LeaseUpdate)[0].version == sent[0].version
     noted = made.handle(kind(make_lease().server), START + 4.0)[0]
     assert noted.state == LeaseState.NOTED
     lapsed = made.handle(kind(make_lease().server), START + 4.1)[0]
