Rename test_an_echo_counts_only_for_the_version_that_is_known to test_an_echo_confirms_only_the_known_table_version

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_an_echo_counts_only_for_the_version_that_is_known test_an_echo_confirms_only_the_known_table_version

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -104,7 +104,7 @@
     assert (fresh_servers(made), stale_servers(made)) == ([], [make_lease().server])
 
 
-def test_an_echo_counts_only_for_the_version_that_is_known():
+def test_an_echo_confirms_only_the_known_table_version():
     made = make_table()
     actions = made.handle(heartbeat_received(3, echo=START), START)
     assert sent_messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 0, 7)]
