Rename test_a_false_echo_confirms_nothing to test_an_invalid_echo_confirms_nothing

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_false_echo_confirms_nothing test_an_invalid_echo_confirms_nothing

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -125,7 +125,7 @@
 
 
 @pytest.mark.parametrize("case", INVALID_ECHOES)
-def test_a_false_echo_confirms_nothing(case):
+def test_an_invalid_echo_confirms_nothing(case):
     made = make_table()
     made.handle(update_received(1, make_lease()), START)
     made.handle(INVALID_ECHOES[case], START)
