Rename test_a_gap_in_changes_is_asked_for_and_old_ones_are_ignored to test_missing_changes_are_requested_and_old_ones_ignored

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_gap_in_changes_is_asked_for_and_old_ones_are_ignored test_missing_changes_are_requested_and_old_ones_ignored

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -132,7 +132,7 @@
     assert fresh_servers(made) == []
 
 
-def test_a_gap_in_changes_is_asked_for_and_old_ones_are_ignored():
+def test_missing_changes_are_requested_and_old_ones_ignored():
     made = make_table()
     made.handle(update_received(2, make_lease()), START)
     actions = made.handle(update_received(5, make_lease(number=8), base=4), START)
