Rename test_a_later_phase_told_by_a_peer_ends_what_is_held_here to test_a_later_phase_from_a_peer_ends_the_lease_held_here

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_later_phase_told_by_a_peer_ends_what_is_held_here test_a_later_phase_from_a_peer_ends_the_lease_held_here

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -158,7 +158,7 @@
     assert fresh_servers(made) == [make_lease().server]
 
 
-def test_a_later_phase_told_by_a_peer_ends_what_is_held_here():
+def test_a_later_phase_from_a_peer_ends_the_lease_held_here():
     made = make_table()
     call_with_ticket(made, Announce(make_lease()), START)
     left = make_lease(phase=Phase.LEFT)
