Rename test_an_address_that_two_services_claim_gets_no_new_work to test_a_server_claimed_by_two_services_is_stale

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_an_address_that_two_services_claim_gets_no_new_work test_a_server_claimed_by_two_services_is_stale

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -173,7 +173,7 @@
     )
 
 
-def test_an_address_that_two_services_claim_gets_no_new_work():
+def test_a_server_claimed_by_two_services_is_stale():
     made = make_table()
     call_with_ticket(made, Announce(make_lease()), START)
     made.handle(update_received(1, make_lease(session=9, service="pagesetter")), START)
