Rename test_a_lease_runs_from_its_ticket_and_ends to test_a_lease_expires_4_seconds_after_its_ticket_was_issued

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_lease_runs_from_its_ticket_and_ends test_a_lease_expires_4_seconds_after_its_ticket_was_issued

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -192,7 +192,7 @@
     assert call_with_ticket(made, depart, START).problem.code == "address-taken"
 
 
-def test_a_lease_runs_from_its_ticket_and_ends():
+def test_a_lease_expires_4_seconds_after_its_ticket_was_issued():
     made = make_table()
     first = made.handle(Announce(make_lease()), START)[0]
     announce = Announce(make_lease(), first.ticket)
