Rename test_a_retirement_is_in_force_when_the_zone_knows_or_leases_have_lapsed to test_an_unacknowledged_retirement_is_in_force_after_leases_expire

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_retirement_is_in_force_when_the_zone_knows_or_leases_have_lapsed test_an_unacknowledged_retirement_is_in_force_after_leases_expire

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -206,7 +206,7 @@
 
 
 @pytest.mark.parametrize("kind", [Drain, Depart])
-def test_a_retirement_is_in_force_when_the_zone_knows_or_leases_have_lapsed(kind):
+def test_an_unacknowledged_retirement_is_in_force_after_leases_expire(kind):
     made = make_table()
     call_with_ticket(made, Announce(make_lease()), START)
     actions = made.handle(kind(make_lease().server), START)
