Rename test_a_leave_at_a_vm_that_does_not_know_the_server to test_a_leave_of_an_unknown_server_needs_session_and_service

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_leave_at_a_vm_that_does_not_know_the_server test_a_leave_of_an_unknown_server_needs_session_and_service

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -240,7 +240,7 @@
     )
 
 
-def test_a_leave_at_a_vm_that_does_not_know_the_server():
+def test_a_leave_of_an_unknown_server_needs_session_and_service():
     made = make_table()
     server = make_lease().server
     assert (
