--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -252,7 +252,7 @@
     assert refused.problem.code == "session-left"
 
 
-def test_a_request_gets_changes_or_all():
+def test_a_lease_request_gets_changes_or_the_complete_table():
     made = make_table()
     call_with_ticket(made, Announce(make_lease()), START)
     call_with_ticket(made, Announce(make_lease(number=8)), START)
