Rename test_a_renewal_sends_nothing to test_a_renewal_sends_no_update_to_peers

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_renewal_sends_nothing test_a_renewal_sends_no_update_to_peers

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -264,7 +264,7 @@
     assert answers == [(False, 1, 2), (True, 2, 2), (True, 2, 2)]
 
 
-def test_a_renewal_sends_nothing():
+def test_a_renewal_sends_no_update_to_peers():
     made = make_table()
     made.handle(heartbeat_received(0, START), START)
     call_with_ticket(made, Announce(make_lease()), START)
