Rename test_a_vm_that_has_not_heard_its_peers_takes_no_unknown_server to test_a_starting_vm_refuses_unknown_servers_until_peers_confirm

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_vm_that_has_not_heard_its_peers_takes_no_unknown_server test_a_starting_vm_refuses_unknown_servers_until_peers_confirm

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -274,7 +274,7 @@
     assert sent_messages(actions, LeaseUpdate) == []
 
 
-def test_a_vm_that_has_not_heard_its_peers_takes_no_unknown_server():
+def test_a_starting_vm_refuses_unknown_servers_until_peers_confirm():
     made = LeaseTable(ME, LeaseSettings())
     made.handle(PeersChanged((PEER,)), START)
     assert (
