Rename test_a_holder_silent_for_long_is_forgotten to test_a_holder_silent_for_too_long_is_dropped

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_holder_silent_for_long_is_forgotten test_a_holder_silent_for_too_long_is_dropped

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -288,7 +288,7 @@
     )
 
 
-def test_a_holder_silent_for_long_is_forgotten():
+def test_a_holder_silent_for_too_long_is_dropped():
     made = make_table()
     made.handle(update_received(1, make_lease()), START)
     made.handle(heartbeat_received(1, START), START)
