Rename test_a_forged_leave_of_another_service_changes_nothing to test_a_leave_forged_by_another_service_has_no_effect

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_forged_leave_of_another_service_changes_nothing test_a_leave_forged_by_another_service_has_no_effect

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -182,7 +182,7 @@
     assert made.freshness.latest.stale[0].service == "entries"
 
 
-def test_a_forged_leave_of_another_service_changes_nothing():
+def test_a_leave_forged_by_another_service_has_no_effect():
     made = make_table()
     call_with_ticket(made, Announce(make_lease()), START)
     forged = make_lease(session=9, service="pagesetter", phase=Phase.LEFT)
