--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -20,13 +20,13 @@
 from kumquatmux_membership.membership import Membership
 from kumquatmux_membership.settings import MembershipSettings
 
-QUIET = NetworkSettings(loss=0.0, duplicate=0.0, late=0.0, stuck_call=0.0)
+FAULTLESS_NETWORK = NetworkSettings(loss=0.0, duplicate=0.0, late=0.0, stuck_call=0.0)
 A, B, C = (VmId(f"cnx-a-{number}") for number in range(3))
 
 
 def started(count=3):
     vms = make_vms((ZoneName("cnx-a"),), count)
-    world = World(vms, 1, Tuning(network=QUIET))
+    world = World(vms, 1, Tuning(network=FAULTLESS_NETWORK))
     for vm in vms:
         world.start(vm.vm)
     world.run(3.0)
@@ -43,7 +43,9 @@
 
 
 def test_a_view_is_not_acted_on_before_the_peers_answer():
-    world = World(make_vms((ZoneName("cnx-a"),), 2), 1, Tuning(network=QUIET))
+    world = World(
+        make_vms((ZoneName("cnx-a"),), 2), 1, Tuning(network=FAULTLESS_NETWORK)
+    )
     world.start(A)
     world.run(1.0)
     assert view(world, A) is None
