--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -24,7 +24,7 @@
 A, B, C = (VmId(f"cnx-a-{number}") for number in range(3))
 
 
-def started(count=3):
+def start_world(count=3):
     vms = make_vms((ZoneName("cnx-a"),), count)
     world = World(vms, 1, Tuning(network=FAULTLESS_NETWORK))
     for vm in vms:
@@ -54,7 +54,7 @@
 
 
 def test_a_dead_vm_is_lost_within_3_seconds():
-    world = started()
+    world = start_world()
     world.stop(C)
     world.run(world.now + 3.0)
     for name in (A, B):
@@ -63,7 +63,7 @@
 
 
 def test_a_graceful_leave_is_no_loss():
-    world = started()
+    world = start_world()
     world.deliver(world.machines[C], Leave())
     world.run(world.now + 0.1)
     assert view(world, A) == [A, B]
@@ -78,7 +78,7 @@
 
 @pytest.mark.parametrize("wall_offset_ms", [0, -60_000])
 def test_a_restarted_vm_is_lost_and_back_with_a_higher_incarnation(wall_offset_ms):
-    world = started()
+    world = start_world()
     before = world.process(C).incarnations[-1]
     world.stop(C)
     world.run(world.now + 0.3)
@@ -94,7 +94,7 @@
 def test_two_raised_incarnations_of_one_vm_differ():
     raised = set()
     for _ in range(2):
-        world = started(2)
+        world = start_world(2)
         world.random = Random(len(raised))
         world.stop(B)
         world.machines[B].wall_offset_ms = -60_000
@@ -105,7 +105,7 @@
 
 
 def test_a_one_way_cut_takes_the_pair_out_on_both_sides():
-    world = started()
+    world = start_world()
     world.cut = {(A, B)}
     world.run(world.now + 6)
     assert view(world, A) == [A, C]
@@ -119,7 +119,7 @@
 def test_a_short_cut_is_bridged_by_a_probe_through_a_third_vm():
     lost = []
     for count in (2, 3):
-        world = started(count)
+        world = start_world(count)
         world.cut = both(A, B)
         world.run(world.now + 2.4)
         world.cut.clear()
@@ -129,7 +129,7 @@
 
 
 def test_a_long_cut_heals_although_the_rounds_are_in_step():
-    world = started(2)
+    world = start_world(2)
     world.cut = both(A, B)
     world.run(world.now + 300)
     assert view(world, A) == [A]
@@ -140,7 +140,7 @@
 
 @pytest.mark.parametrize("pause_seconds", [1.5, 5.0, 300.0])
 def test_a_paused_vm_hears_its_peers_before_it_acts(pause_seconds):
-    world = started()
+    world = start_world()
     world.machines[C].paused = True
     world.run(world.now + pause_seconds)
     world.resume(C)
@@ -152,7 +152,7 @@
 
 @pytest.mark.parametrize("jump_seconds", [-30.0, -0.5, 2.0, 100.0])
 def test_a_clock_jump_suspends_the_view_and_harms_nobody_else(jump_seconds):
-    world = started()
+    world = start_world()
     world.machines[C].offset += jump_seconds
     world.run(world.now + 5)
     assert world.process(C).suspensions == 1
@@ -161,7 +161,7 @@
 
 
 def test_a_flapping_peer_stays_out_longer_each_time_up_to_a_bound():
-    world = started(2)
+    world = start_world(2)
     waits = []
     for _ in range(6):
         world.cut = both(A, B)
@@ -181,7 +181,7 @@
 
 
 def test_a_vm_that_knows_one_peer_joins_them_all():
-    world = started()
+    world = start_world()
     new = joiner()
     vms = world.vms
     world.machines[new.vm] = type(world.machines[A])(new, 1.0)
