--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -33,7 +33,7 @@
     return world
 
 
-def view(world, name):
+def view_ids(world, name):
     process = world.process(name)
     return [vm.vm for vm in process.view] if process.usable else None
 
@@ -48,9 +48,9 @@
     )
     world.start(A)
     world.run(1.0)
-    assert view(world, A) is None
+    assert view_ids(world, A) is None
     world.run(3.0)
-    assert view(world, A) == [A]
+    assert view_ids(world, A) == [A]
 
 
 def test_a_dead_vm_is_lost_within_3_seconds():
@@ -58,7 +58,7 @@
     world.stop(C)
     world.run(world.now + 3.0)
     for name in (A, B):
-        assert view(world, name) == [A, B]
+        assert view_ids(world, name) == [A, B]
         assert world.process(name).lost == [C]
 
 
@@ -66,13 +66,13 @@
     world = start_world()
     world.deliver(world.machines[C], Leave())
     world.run(world.now + 0.1)
-    assert view(world, A) == [A, B]
+    assert view_ids(world, A) == [A, B]
     world.run(world.now + 5)
-    assert view(world, C) == [A, B, C]
+    assert view_ids(world, C) == [A, B, C]
     assert world.process(C).lost == []
     world.stop(C)
     world.run(world.now + 20)
-    assert view(world, A) == [A, B]
+    assert view_ids(world, A) == [A, B]
     assert world.process(A).lost == []
 
 
@@ -87,7 +87,7 @@
     world.run(world.now + 5)
     for name in (A, B):
         assert world.process(name).lost == [C]
-        assert view(world, name) == [A, B, C]
+        assert view_ids(world, name) == [A, B, C]
         assert world.process(name).view[2].incarnation > before
 
 
@@ -108,12 +108,12 @@
     world = start_world()
     world.cut = {(A, B)}
     world.run(world.now + 6)
-    assert view(world, A) == [A, C]
-    assert view(world, B) == [B, C]
-    assert view(world, C) == [A, B, C]
+    assert view_ids(world, A) == [A, C]
+    assert view_ids(world, B) == [B, C]
+    assert view_ids(world, C) == [A, B, C]
     world.cut.clear()
     world.run(world.now + 5)
-    assert [view(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
+    assert [view_ids(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
 
 
 def test_a_short_cut_is_bridged_by_a_probe_through_a_third_vm():
@@ -132,10 +132,10 @@
     world = start_world(2)
     world.cut = both(A, B)
     world.run(world.now + 300)
-    assert view(world, A) == [A]
+    assert view_ids(world, A) == [A]
     world.cut.clear()
     world.run(world.now + 5)
-    assert [view(world, A), view(world, B)] == [[A, B]] * 2
+    assert [view_ids(world, A), view_ids(world, B)] == [[A, B]] * 2
 
 
 @pytest.mark.parametrize("pause_seconds", [1.5, 5.0, 300.0])
@@ -144,9 +144,9 @@
     world.machines[C].paused = True
     world.run(world.now + pause_seconds)
     world.resume(C)
-    assert view(world, C) is None
+    assert view_ids(world, C) is None
     world.run(world.now + 5)
-    assert [view(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
+    assert [view_ids(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
     assert world.process(C).lost == []
 
 
@@ -156,7 +156,7 @@
     world.machines[C].offset += jump_seconds
     world.run(world.now + 5)
     assert world.process(C).suspensions == 1
-    assert [view(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
+    assert [view_ids(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
     assert world.process(A).lost == []
 
 
@@ -168,7 +168,7 @@
         world.run(world.now + 4)
         world.cut.clear()
         healed = world.now
-        while view(world, A) != [A, B]:
+        while view_ids(world, A) != [A, B]:
             world.run(world.now + 0.1)
         waits.append(world.now - healed)
     assert waits[0] < 2 < waits[3]
@@ -189,7 +189,7 @@
     world.start(new.vm)
     world.run(world.now + 4)
     for name in (A, B, C, new.vm):
-        assert view(world, name) == [A, B, C, new.vm]
+        assert view_ids(world, name) == [A, B, C, new.vm]
 
 
 def test_an_unknown_sender_is_not_heard_until_it_says_hello():
