--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -38,7 +38,7 @@
     return [vm.vm for vm in process.view] if process.usable else None
 
 
-def both(one, other):
+def both_directions(one, other):
     return {(one, other), (other, one)}
 
 
@@ -120,7 +120,7 @@
     lost = []
     for count in (2, 3):
         world = start_world(count)
-        world.cut = both(A, B)
+        world.cut = both_directions(A, B)
         world.run(world.now + 2.4)
         world.cut.clear()
         world.run(world.now + 3.0)
@@ -130,7 +130,7 @@
 
 def test_a_long_cut_heals_although_the_rounds_are_in_step():
     world = start_world(2)
-    world.cut = both(A, B)
+    world.cut = both_directions(A, B)
     world.run(world.now + 300)
     assert view_ids(world, A) == [A]
     world.cut.clear()
@@ -164,7 +164,7 @@
     world = start_world(2)
     waits = []
     for _ in range(6):
-        world.cut = both(A, B)
+        world.cut = both_directions(A, B)
         world.run(world.now + 4)
         world.cut.clear()
         healed = world.now
