--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -175,14 +175,14 @@
     assert max(waits) < MembershipSettings().hold_max_seconds + 1
 
 
-def joiner():
+def make_joining_vm():
     endpoint = Endpoint("127.1.9.9", 7000)
     return Vm(VmId("cnx-a-9"), ZoneName("cnx-a"), endpoint, endpoint, 5)
 
 
 def test_a_vm_that_knows_one_peer_joins_them_all():
     world = start_world()
-    new = joiner()
+    new = make_joining_vm()
     vms = world.vms
     world.machines[new.vm] = type(world.machines[A])(new, 1.0)
     world.vms = (vms[0],)
