--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -38,8 +38,8 @@
     return [vm.vm for vm in process.view] if process.usable else None
 
 
-def both_directions(first, other):
-    return {(first, other), (other, first)}
+def both_directions(first, second):
+    return {(first, second), (second, first)}
 
 
 def test_a_view_is_not_acted_on_before_the_peers_answer():
