--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -162,7 +162,7 @@
 
 def test_a_flapping_peer_stays_out_longer_each_time_up_to_a_bound():
     world = start_world(2)
-    waits = []
+    rejoin_delays = []
     for _ in range(6):
         world.cut = both_directions(A, B)
         world.run(world.now + 4)
@@ -170,9 +170,9 @@
         healed = world.now
         while view_ids(world, A) != [A, B]:
             world.run(world.now + 0.1)
-        waits.append(world.now - healed)
-    assert waits[0] < 2 < waits[3]
-    assert max(waits) < MembershipSettings().hold_max_seconds + 1
+        rejoin_delays.append(world.now - healed)
+    assert rejoin_delays[0] < 2 < rejoin_delays[3]
+    assert max(rejoin_delays) < MembershipSettings().hold_max_seconds + 1
 
 
 def make_joining_vm():
