--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -167,10 +167,10 @@
         world.cut = both_directions(A, B)
         world.run(world.now + 4)
         world.cut.clear()
-        healed = world.now
+        cut_ended_at = world.now
         while view_ids(world, A) != [A, B]:
             world.run(world.now + 0.1)
-        rejoin_delays.append(world.now - healed)
+        rejoin_delays.append(world.now - cut_ended_at)
     assert rejoin_delays[0] < 2 < rejoin_delays[3]
     assert max(rejoin_delays) < MembershipSettings().hold_max_seconds + 1
 
