--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -182,14 +182,14 @@
 
 def test_a_vm_that_knows_one_peer_joins_them_all():
     world = start_world()
-    new = make_joining_vm()
+    joining_vm = make_joining_vm()
     vms = world.vms
-    world.machines[new.vm] = type(world.machines[A])(new, 1.0)
+    world.machines[joining_vm.vm] = type(world.machines[A])(joining_vm, 1.0)
     world.vms = (vms[0],)
-    world.start(new.vm)
+    world.start(joining_vm.vm)
     world.run(world.now + 4)
-    for name in (A, B, C, new.vm):
-        assert view_ids(world, name) == [A, B, C, new.vm]
+    for name in (A, B, C, joining_vm.vm):
+        assert view_ids(world, name) == [A, B, C, joining_vm.vm]
 
 
 def test_an_unknown_sender_is_not_heard_until_it_says_hello():
