--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -195,8 +195,8 @@
 def test_an_unknown_sender_is_not_heard_until_it_says_hello():
     me, other = make_vms((ZoneName("cnx-a"),), 2)
     membership = Membership(me, (), MembershipSettings(), Random(1))
-    beat = Heartbeat(other.vm, 5, 1.0, 0.0, 9, "", 0)
-    actions = membership.handle(Received(beat), 10.0)
+    heartbeat = Heartbeat(other.vm, 5, 1.0, 0.0, 9, "", 0)
+    actions = membership.handle(Received(heartbeat), 10.0)
     assert not any(isinstance(one, PeerLearned | PeerAhead) for one in actions)
 
 
