--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -197,7 +197,7 @@
     membership = Membership(me, (), MembershipSettings(), Random(1))
     heartbeat = Heartbeat(other.vm, 5, 1.0, 0.0, 9, "", 0)
     actions = membership.handle(Received(heartbeat), 10.0)
-    assert not any(isinstance(one, PeerLearned | PeerAhead) for one in actions)
+    assert not any(isinstance(action, PeerLearned | PeerAhead) for action in actions)
 
 
 def test_settings_add_and_remove_peers():
