--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -203,8 +203,8 @@
 def test_settings_add_and_remove_peers():
     me, other = make_vms((ZoneName("cnx-a"),), 2)
     membership = Membership(me, (), MembershipSettings(), Random(1))
-    first = membership.handle(Tick(), 10.0)
-    assert ViewChanged((me,), ()) in first
+    initial_actions = membership.handle(Tick(), 10.0)
+    assert ViewChanged((me,), ()) in initial_actions
     added = membership.handle(PeersChanged((me, other)), 10.1)
     assert PeersChanged((other,)) in added
     removed = membership.handle(PeersChanged((me,)), 10.2)
