--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -205,8 +205,8 @@
     membership = Membership(me, (), MembershipSettings(), Random(1))
     initial_actions = membership.handle(Tick(), 10.0)
     assert ViewChanged((me,), ()) in initial_actions
-    added = membership.handle(PeersChanged((me, other)), 10.1)
-    assert PeersChanged((other,)) in added
+    actions_after_add = membership.handle(PeersChanged((me, other)), 10.1)
+    assert PeersChanged((other,)) in actions_after_add
     removed = membership.handle(PeersChanged((me,)), 10.2)
     assert PeersChanged(()) in removed
 
