--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -207,8 +207,8 @@
     assert ViewChanged((me,), ()) in initial_actions
     actions_after_add = membership.handle(PeersChanged((me, other)), 10.1)
     assert PeersChanged((other,)) in actions_after_add
-    removed = membership.handle(PeersChanged((me,)), 10.2)
-    assert PeersChanged(()) in removed
+    actions_after_remove = membership.handle(PeersChanged((me,)), 10.2)
+    assert PeersChanged(()) in actions_after_remove
 
 
 def test_a_peer_ahead_in_settings_is_named_and_old_heartbeats_are_not():
