--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -42,7 +42,7 @@
     return {(first, second), (second, first)}
 
 
-def test_a_view_is_not_acted_on_before_the_peers_answer():
+def test_a_view_is_suspended_until_peers_answer_or_time_out():
     world = World(
         make_vms((ZoneName("cnx-a"),), 2), 1, Tuning(network=FAULTLESS_NETWORK)
     )
