--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -62,7 +62,7 @@
         assert world.process(name).lost == [C]
 
 
-def test_a_graceful_leave_is_no_loss():
+def test_a_graceful_shutdown_is_not_reported_as_a_loss():
     world = start_world()
     world.deliver(world.machines[C], Leave())
     world.run(world.now + 0.1)
