Rename test_a_restarted_vm_is_lost_and_back_with_a_higher_incarnation to test_a_restarted_vm_is_lost_and_rejoins_with_a_higher_incarnation

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_membership.py test_a_restarted_vm_is_lost_and_back_with_a_higher_incarnation test_a_restarted_vm_is_lost_and_rejoins_with_a_higher_incarnation

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -77,7 +77,7 @@
 
 
 @pytest.mark.parametrize("wall_offset_ms", [0, -60_000])
-def test_a_restarted_vm_is_lost_and_back_with_a_higher_incarnation(wall_offset_ms):
+def test_a_restarted_vm_is_lost_and_rejoins_with_a_higher_incarnation(wall_offset_ms):
     world = start_world()
     before = world.process(C).incarnations[-1]
     world.stop(C)
