Rename test_a_one_way_cut_takes_the_pair_out_on_both_sides to test_a_one_way_cut_removes_each_vm_from_the_other_view

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_membership.py test_a_one_way_cut_takes_the_pair_out_on_both_sides test_a_one_way_cut_removes_each_vm_from_the_other_view

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -104,7 +104,7 @@
     assert len(raised) == 2
 
 
-def test_a_one_way_cut_takes_the_pair_out_on_both_sides():
+def test_a_one_way_cut_removes_each_vm_from_the_other_view():
     world = start_world()
     world.cut = {(A, B)}
     world.run(world.now + 6)
