Rename test_a_short_cut_is_bridged_by_a_probe_through_a_third_vm to test_a_probe_by_a_third_vm_prevents_a_loss_during_a_brief_cut

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_membership.py test_a_short_cut_is_bridged_by_a_probe_through_a_third_vm test_a_probe_by_a_third_vm_prevents_a_loss_during_a_brief_cut

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -116,7 +116,7 @@
     assert [view_ids(world, name) for name in (A, B, C)] == [[A, B, C]] * 3
 
 
-def test_a_short_cut_is_bridged_by_a_probe_through_a_third_vm():
+def test_a_probe_by_a_third_vm_prevents_a_loss_during_a_brief_cut():
     lost = []
     for count in (2, 3):
         world = start_world(count)
