Rename test_a_long_cut_heals_although_the_rounds_are_in_step to test_vms_rejoin_after_a_long_cut_although_their_rounds_coincide

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_membership.py test_a_long_cut_heals_although_the_rounds_are_in_step test_vms_rejoin_after_a_long_cut_although_their_rounds_coincide

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -128,7 +128,7 @@
     assert lost == [[B], []]
 
 
-def test_a_long_cut_heals_although_the_rounds_are_in_step():
+def test_vms_rejoin_after_a_long_cut_although_their_rounds_coincide():
     world = start_world(2)
     world.cut = both_directions(A, B)
     world.run(world.now + 300)
