Rename test_a_paused_vm_hears_its_peers_before_it_acts to test_a_resumed_vm_suspends_its_view_until_peers_answer

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_membership.py test_a_paused_vm_hears_its_peers_before_it_acts test_a_resumed_vm_suspends_its_view_until_peers_answer

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -139,7 +139,7 @@
 
 
 @pytest.mark.parametrize("pause_seconds", [1.5, 5.0, 300.0])
-def test_a_paused_vm_hears_its_peers_before_it_acts(pause_seconds):
+def test_a_resumed_vm_suspends_its_view_until_peers_answer(pause_seconds):
     world = start_world()
     world.machines[C].paused = True
     world.run(world.now + pause_seconds)
