--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -151,7 +151,7 @@
 
 
 @pytest.mark.parametrize("jump_seconds", [-30.0, -0.5, 2.0, 100.0])
-def test_a_clock_jump_suspends_the_view_and_harms_nobody_else(jump_seconds):
+def test_a_clock_jump_suspends_only_the_view_of_that_vm(jump_seconds):
     world = start_world()
     world.machines[C].offset += jump_seconds
     world.run(world.now + 5)
