Rename test_a_flapping_peer_stays_out_longer_each_time_up_to_a_bound to test_the_hold_down_of_a_flapping_peer_grows_up_to_a_maximum

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_membership.py test_a_flapping_peer_stays_out_longer_each_time_up_to_a_bound test_the_hold_down_of_a_flapping_peer_grows_up_to_a_maximum

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -160,7 +160,7 @@
     assert world.process(A).lost == []
 
 
-def test_a_flapping_peer_stays_out_longer_each_time_up_to_a_bound():
+def test_the_hold_down_of_a_flapping_peer_grows_up_to_a_maximum():
     world = start_world(2)
     rejoin_delays = []
     for _ in range(6):
