--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -180,7 +180,7 @@
     return Vm(VmId("cnx-a-9"), ZoneName("cnx-a"), endpoint, endpoint, 5)
 
 
-def test_a_vm_that_knows_one_peer_joins_them_all():
+def test_a_vm_configured_with_one_peer_discovers_all_peers():
     world = start_world()
     joining_vm = make_joining_vm()
     vms = world.vms
