Rename test_an_unknown_sender_is_not_heard_until_it_says_hello to test_a_heartbeat_of_an_unknown_sender_is_ignored

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_membership.py test_an_unknown_sender_is_not_heard_until_it_says_hello test_a_heartbeat_of_an_unknown_sender_is_ignored

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -192,7 +192,7 @@
         assert view_ids(world, name) == [A, B, C, joining_vm.vm]
 
 
-def test_an_unknown_sender_is_not_heard_until_it_says_hello():
+def test_a_heartbeat_of_an_unknown_sender_is_ignored():
     me, other = make_vms((ZoneName("cnx-a"),), 2)
     membership = Membership(me, (), MembershipSettings(), Random(1))
     heartbeat = Heartbeat(other.vm, 5, 1.0, 0.0, 9, "", 0)
