Rename test_settings_add_and_remove_peers to test_a_changed_peer_list_adds_and_removes_peers

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_membership.py test_settings_add_and_remove_peers test_a_changed_peer_list_adds_and_removes_peers

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -200,7 +200,7 @@
     assert not any(isinstance(action, PeerLearned | PeerAhead) for action in actions)
 
 
-def test_settings_add_and_remove_peers():
+def test_a_changed_peer_list_adds_and_removes_peers():
     me, other = make_vms((ZoneName("cnx-a"),), 2)
     membership = Membership(me, (), MembershipSettings(), Random(1))
     initial_actions = membership.handle(Tick(), 10.0)
