Rename test_a_peer_ahead_in_settings_is_named_and_old_heartbeats_are_not to test_a_newer_settings_revision_is_reported_unless_heartbeat_is_old

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_membership.py test_a_peer_ahead_in_settings_is_named_and_old_heartbeats_are_not test_a_newer_settings_revision_is_reported_unless_heartbeat_is_old

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -211,7 +211,7 @@
     assert PeersChanged(()) in actions_after_remove
 
 
-def test_a_peer_ahead_in_settings_is_named_and_old_heartbeats_are_not():
+def test_a_newer_settings_revision_is_reported_unless_heartbeat_is_old():
     me, other = make_vms((ZoneName("cnx-a"),), 2)
     membership = Membership(me, (other,), MembershipSettings(), Random(1))
     membership.advertise_settings(4, "x")
