--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -15,7 +15,7 @@
 SAMPLED = MembershipSettings(fanout=4)
 
 
-def started(per_zone=6):
+def start_world(per_zone=6):
     network = NetworkSettings(loss=0.0, duplicate=0.0, late=0.0)
     vms = make_vms(ZONES, per_zone)
     world = World(vms, 1, Tuning(membership=SAMPLED, network=network))
@@ -47,7 +47,7 @@
 
 
 def test_all_see_all_though_each_hears_a_few():
-    world = started()
+    world = start_world()
     assert set(views(world)) == {names(world)}
     memberships = [
         one.process.coordinator.membership for one in world.machines.values()
@@ -56,7 +56,7 @@
 
 
 def test_a_loss_a_leave_and_a_restart_reach_those_who_do_not_watch():
-    world = started()
+    world = start_world()
     dead, leaving, restarted = names(world)[:3]
     world.stop(dead)
     world.deliver(world.machines[leaving], Leave())
@@ -72,7 +72,7 @@
 
 
 def test_two_halves_meet_again():
-    world = started()
+    world = start_world()
     halves = [[vm.vm for vm in world.vms if vm.zone == zone] for zone in ZONES]
     paths = {(one, two) for one in halves[0] for two in halves[1]}
     world.cut = paths | {(two, one) for one, two in paths}
