--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -33,7 +33,7 @@
     ]
 
 
-def names(world):
+def vm_ids(world):
     return tuple(sorted(world.machines))
 
 
@@ -48,7 +48,7 @@
 
 def test_all_see_all_though_each_hears_a_few():
     world = start_world()
-    assert set(views(world)) == {names(world)}
+    assert set(views(world)) == {vm_ids(world)}
     memberships = [
         one.process.coordinator.membership for one in world.machines.values()
     ]
@@ -57,14 +57,14 @@
 
 def test_a_loss_a_leave_and_a_restart_reach_those_who_do_not_watch():
     world = start_world()
-    dead, leaving, restarted = names(world)[:3]
+    dead, leaving, restarted = vm_ids(world)[:3]
     world.stop(dead)
     world.deliver(world.machines[leaving], Leave())
     world.stop(restarted)
     world.start(restarted)
     world.run(world.now + 6)
-    others = names(world)[3:]
-    expected = tuple(name for name in names(world) if name not in (dead, leaving))
+    others = vm_ids(world)[3:]
+    expected = tuple(name for name in vm_ids(world) if name not in (dead, leaving))
     for name in others:
         process = world.process(name)
         assert tuple(vm.vm for vm in process.view) == expected
@@ -80,7 +80,7 @@
     assert set(views(world)) == {tuple(half) for half in halves}
     world.cut.clear()
     world.run(world.now + 15)
-    assert set(views(world)) == {names(world)}
+    assert set(views(world)) == {vm_ids(world)}
 
 
 @pytest.mark.parametrize("seed", [2, 14, 22])
