--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -43,7 +43,7 @@
         vm.vm: ring_neighbours(vm, [other for other in vms if one != vm], 8)
         for vm in vms
     }
-    assert all(4 <= len(near) <= 8 for near in chosen.values())
+    assert all(4 <= len(neighbours) <= 8 for neighbours in chosen.values())
     assert all(one in chosen[two] for one in chosen for two in chosen[one])
 
 
