--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -44,7 +44,7 @@
         for vm in vms
     }
     assert all(4 <= len(neighbours) <= 8 for neighbours in chosen.values())
-    assert all(one in chosen[second] for one in chosen for two in chosen[one])
+    assert all(first in chosen[second] for first in chosen for two in chosen[one])
 
 
 def test_all_see_all_though_each_hears_a_few():
