--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -51,7 +51,7 @@
     world = start_world()
     assert set(views(world)) == {vm_ids(world)}
     memberships = [
-        one.process.coordinator.membership for one in world.machines.values()
+        machine.process.coordinator.membership for machine in world.machines.values()
     ]
     assert max(len(one.neighbours) for one in memberships) <= 4
 
