--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -53,7 +53,7 @@
     memberships = [
         machine.process.coordinator.membership for machine in world.machines.values()
     ]
-    assert max(len(one.neighbours) for one in memberships) <= 4
+    assert max(len(membership.neighbours) for membership in memberships) <= 4
 
 
 def test_a_loss_a_leave_and_a_restart_reach_those_who_do_not_watch():
