--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -76,7 +76,7 @@
     world = start_world()
     halves = [[vm.vm for vm in world.vms if vm.zone == zone] for zone in ZONES]
     paths = {(first, second) for first in halves[0] for two in halves[1]}
-    world.cut = paths | {(two, first) for first, two in paths}
+    world.cut = paths | {(second, first) for first, second in paths}
     world.run(world.now + 20)
     assert set(views(world)) == {tuple(half) for half in halves}
     world.cut.clear()
