--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -93,7 +93,7 @@
     assert not kinds & {"views-converge", "incarnations-grow"}
 
 
-ORDERED = [
+UPDATES_BY_PRECEDENCE = [
     MemberUpdate(VmId("a"), 1, MemberStatus.ALIVE),
     MemberUpdate(VmId("a"), 1, MemberStatus.LOST),
     MemberUpdate(VmId("a"), 1, MemberStatus.ALIVE, 1),
@@ -104,7 +104,9 @@
 
 
 def test_the_later_rumour_wins_in_any_order():
-    for first, second in zip(ORDERED, ORDERED[1:], strict=False):
+    for first, second in zip(
+        UPDATES_BY_PRECEDENCE, UPDATES_BY_PRECEDENCE[1:], strict=False
+    ):
         for told in ((first, second), (second, first)):
             rumours = GossipState()
             news = [rumours.merge(one) for one in told]
@@ -114,6 +116,6 @@
 
 def test_a_rumour_is_passed_on_a_bounded_number_of_times():
     rumours = GossipState()
-    rumours.merge(ORDERED[0])
+    rumours.merge(UPDATES_BY_PRECEDENCE[0])
     sent = sum(len(rumours.next_updates()) for _ in range(100))
     assert sent == 16
