--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -107,11 +107,11 @@
     for first, second in zip(
         UPDATES_BY_PRECEDENCE, UPDATES_BY_PRECEDENCE[1:], strict=False
     ):
-        for told in ((first, second), (second, first)):
+        for pair in ((first, second), (second, first)):
             rumours = GossipState()
-            news = [rumours.merge(one) for one in told]
+            news = [rumours.merge(one) for one in pair]
             assert rumours.latest[VmId("a")] == second
-            assert news == [True, told[0] == first]
+            assert news == [True, pair[0] == first]
 
 
 def test_a_rumour_is_passed_on_a_bounded_number_of_times():
