--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -108,9 +108,9 @@
         UPDATES_BY_PRECEDENCE, UPDATES_BY_PRECEDENCE[1:], strict=False
     ):
         for pair in ((first, second), (second, first)):
-            rumours = GossipState()
-            news = [rumours.merge(one) for one in pair]
-            assert rumours.latest[VmId("a")] == second
+            gossip = GossipState()
+            news = [gossip.merge(one) for one in pair]
+            assert gossip.latest[VmId("a")] == second
             assert news == [True, pair[0] == first]
 
 
