--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -115,7 +115,7 @@
 
 
 def test_a_rumour_is_passed_on_a_bounded_number_of_times():
-    rumours = GossipState()
-    rumours.merge(UPDATES_BY_PRECEDENCE[0])
-    sent = sum(len(rumours.next_updates()) for _ in range(100))
+    gossip = GossipState()
+    gossip.merge(UPDATES_BY_PRECEDENCE[0])
+    sent = sum(len(gossip.next_updates()) for _ in range(100))
     assert sent == 16
