--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -109,9 +109,9 @@
     ):
         for pair in ((first, second), (second, first)):
             gossip = GossipState()
-            news = [gossip.merge(one) for one in pair]
+            is_new = [gossip.merge(one) for one in pair]
             assert gossip.latest[VmId("a")] == second
-            assert news == [True, pair[0] == first]
+            assert is_new == [True, pair[0] == first]
 
 
 def test_a_rumour_is_passed_on_a_bounded_number_of_times():
