--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -109,7 +109,7 @@
     ):
         for pair in ((first, second), (second, first)):
             gossip = GossipState()
-            is_new = [gossip.merge(one) for one in pair]
+            is_new = [gossip.merge(update) for update in pair]
             assert gossip.latest[VmId("a")] == second
             assert is_new == [True, pair[0] == first]
 
