Rename test_rings_choose_both_ways_and_keep_to_the_fanout to test_ring_neighbours_are_mutual_and_limited_by_the_fanout

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_sampled.py test_rings_choose_both_ways_and_keep_to_the_fanout test_ring_neighbours_are_mutual_and_limited_by_the_fanout

--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -37,7 +37,7 @@
     return tuple(sorted(world.machines))
 
 
-def test_rings_choose_both_ways_and_keep_to_the_fanout():
+def test_ring_neighbours_are_mutual_and_limited_by_the_fanout():
     vms = make_vms(ZONES, 20)
     chosen = {
         vm.vm: ring_neighbours(vm, [other for other in vms if one != vm], 8)
