Rename test_all_see_all_though_each_hears_a_few to test_every_view_is_complete_with_few_neighbours

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_sampled.py test_all_see_all_though_each_hears_a_few test_every_view_is_complete_with_few_neighbours

--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -47,7 +47,7 @@
     assert all(first in chosen[second] for first in chosen for two in chosen[one])
 
 
-def test_all_see_all_though_each_hears_a_few():
+def test_every_view_is_complete_with_few_neighbours():
     world = start_world()
     assert set(views(world)) == {vm_ids(world)}
     memberships = [
