Rename test_a_loss_a_leave_and_a_restart_reach_those_who_do_not_watch to test_a_loss_a_shutdown_and_a_restart_reach_all_vms

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_sampled.py test_a_loss_a_leave_and_a_restart_reach_those_who_do_not_watch test_a_loss_a_shutdown_and_a_restart_reach_all_vms

--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -56,7 +56,7 @@
     assert max(len(membership.neighbours) for membership in memberships) <= 4
 
 
-def test_a_loss_a_leave_and_a_restart_reach_those_who_do_not_watch():
+def test_a_loss_a_shutdown_and_a_restart_reach_all_vms():
     world = start_world()
     dead, leaving, restarted = vm_ids(world)[:3]
     world.stop(dead)
