Rename test_two_halves_meet_again to test_two_partitions_merge_after_the_cut_ends

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_sampled.py test_two_halves_meet_again test_two_partitions_merge_after_the_cut_ends

--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -72,7 +72,7 @@
         assert set(process.lost) == {dead, restarted}
 
 
-def test_two_halves_meet_again():
+def test_two_partitions_merge_after_the_cut_ends():
     world = start_world()
     halves = [[vm.vm for vm in world.vms if vm.zone == zone] for zone in ZONES]
     paths = {(first, second) for first in halves[0] for two in halves[1]}
