Rename test_the_later_rumour_wins_in_any_order to test_the_later_update_takes_precedence_in_any_order

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_sampled.py test_the_later_rumour_wins_in_any_order test_the_later_update_takes_precedence_in_any_order

--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -103,7 +103,7 @@
 ]
 
 
-def test_the_later_rumour_wins_in_any_order():
+def test_the_later_update_takes_precedence_in_any_order():
     for first, second in zip(
         UPDATES_BY_PRECEDENCE, UPDATES_BY_PRECEDENCE[1:], strict=False
     ):
