Rename test_a_rumour_is_passed_on_a_bounded_number_of_times to test_an_update_is_sent_a_limited_number_of_times

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_sampled.py test_a_rumour_is_passed_on_a_bounded_number_of_times test_an_update_is_sent_a_limited_number_of_times

--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -114,7 +114,7 @@
             assert is_new == [True, pair[0] == first]
 
 
-def test_a_rumour_is_passed_on_a_bounded_number_of_times():
+def test_an_update_is_sent_a_limited_number_of_times():
     gossip = GossipState()
     gossip.merge(UPDATES_BY_PRECEDENCE[0])
     sent = sum(len(gossip.next_updates()) for _ in range(100))
