--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -19,7 +19,7 @@
 from kumquatmux_membership.phases import Phase, version_of
 
 
-def vm(name, zone="cnx-a"):
+def make_vm(name, zone="cnx-a"):
     return Vm(VmId(name), ZoneName(zone), Endpoint("127.0.0.1", 1), Endpoint("::", 2))
 
 
@@ -79,7 +79,7 @@
 
 
 def test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds():
-    pair = Pair([vm("a"), vm("b"), vm("c")])
+    pair = Pair([make_vm("a"), make_vm("b"), make_vm("c")])
     pair.run(2)
     assert [one.vm for one in pair.latest("a", ViewChanged).live] == ["a", "b", "c"]
     pair.cut = {("c", "a"), ("c", "b")}
@@ -92,7 +92,7 @@
 
 
 def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
-    pair = Pair([vm("a"), vm("b"), vm("z", "lpg-a")])
+    pair = Pair([make_vm("a"), make_vm("b"), make_vm("z", "lpg-a")])
     pair.run(2)
     answer = announced(pair, "a", lease())
     assert answer.state == LeaseState.GRANTED
