--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -23,7 +23,7 @@
     return Vm(VmId(name), ZoneName(zone), Endpoint("127.0.0.1", 1), Endpoint("::", 2))
 
 
-def lease(session=1):
+def make_lease(session=1):
     endpoint = Endpoint("127.0.0.9", 80)
     return Lease(
         ServerId(str(endpoint)),
@@ -94,11 +94,11 @@
 def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
     pair = Pair([make_vm("a"), make_vm("b"), make_vm("z", "lpg-a")])
     pair.run(2)
-    answer = announced(pair, "a", lease())
+    answer = announced(pair, "a", make_lease())
     assert answer.state == LeaseState.GRANTED
     for name in pair.nodes:
-        assert pair.latest(name, ServersChanged).fresh == (lease(),)
-    assert isinstance(pair.call("b", Depart(lease().server)), LeaseAnswer)
-    assert pair.call("b", Depart(lease().server)).state == LeaseState.IN_FORCE
+        assert pair.latest(name, ServersChanged).fresh == (make_lease(),)
+    assert isinstance(pair.call("b", Depart(make_lease().server)), LeaseAnswer)
+    assert pair.call("b", Depart(make_lease().server)).state == LeaseState.IN_FORCE
     for name in pair.nodes:
         assert pair.latest(name, ServersChanged) == ServersChanged((), ())
