--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -38,7 +38,7 @@
     )
 
 
-class Pair:
+class CoordinatorNetwork:
     """Two or more coordinators that hear each other at once, save those cut."""
 
     def __init__(self, vms):
@@ -79,7 +79,7 @@
 
 
 def test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds():
-    pair = Pair([make_vm("a"), make_vm("b"), make_vm("c")])
+    pair = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("c")])
     pair.run(2)
     assert [one.vm for one in pair.latest("a", ViewChanged).live] == ["a", "b", "c"]
     pair.cut = {("c", "a"), ("c", "b")}
@@ -92,7 +92,7 @@
 
 
 def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
-    pair = Pair([make_vm("a"), make_vm("b"), make_vm("z", "lpg-a")])
+    pair = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("z", "lpg-a")])
     pair.run(2)
     answer = announced(pair, "a", make_lease())
     assert answer.state == LeaseState.GRANTED
