--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -79,16 +79,16 @@
 
 
 def test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds():
-    pair = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("c")])
-    pair.run(2)
-    assert [one.vm for one in pair.latest("a", ViewChanged).live] == ["a", "b", "c"]
-    pair.cut = {("c", "a"), ("c", "b")}
-    pair.run(3)
+    network = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("c")])
+    network.run(2)
+    assert [one.vm for one in network.latest("a", ViewChanged).live] == ["a", "b", "c"]
+    network.cut = {("c", "a"), ("c", "b")}
+    network.run(3)
     for name in ("a", "b"):
-        view = pair.latest(name, ViewChanged)
+        view = network.latest(name, ViewChanged)
         assert [one.vm for one in view.live] == ["a", "b"]
         assert view.lost == ("c",)
-    assert [one.vm for one in pair.latest("c", ViewChanged).live] == ["c"]
+    assert [one.vm for one in network.latest("c", ViewChanged).live] == ["c"]
 
 
 def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
