--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -92,13 +92,13 @@
 
 
 def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
-    pair = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("z", "lpg-a")])
-    pair.run(2)
-    answer = announced(pair, "a", make_lease())
+    network = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("z", "lpg-a")])
+    network.run(2)
+    answer = announced(network, "a", make_lease())
     assert answer.state == LeaseState.GRANTED
-    for name in pair.nodes:
-        assert pair.latest(name, ServersChanged).fresh == (make_lease(),)
-    assert isinstance(pair.call("b", Depart(make_lease().server)), LeaseAnswer)
-    assert pair.call("b", Depart(make_lease().server)).state == LeaseState.IN_FORCE
-    for name in pair.nodes:
-        assert pair.latest(name, ServersChanged) == ServersChanged((), ())
+    for name in network.nodes:
+        assert network.latest(name, ServersChanged).fresh == (make_lease(),)
+    assert isinstance(network.call("b", Depart(make_lease().server)), LeaseAnswer)
+    assert network.call("b", Depart(make_lease().server)).state == LeaseState.IN_FORCE
+    for name in network.nodes:
+        assert network.latest(name, ServersChanged) == ServersChanged((), ())
