--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -73,9 +73,9 @@
         return self.handle(name, event)[0]
 
 
-def announced(network, name, what):
-    refused = network.call(name, Announce(what))
-    return network.call(name, Announce(what, refused.ticket))
+def announced(network, name, lease):
+    refused = network.call(name, Announce(lease))
+    return network.call(name, Announce(lease, refused.ticket))
 
 
 def test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds():
