--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -73,7 +73,7 @@
         return self.handle(name, event)[0]
 
 
-def announced(network, name, lease):
+def announce_with_ticket(network, name, lease):
     refused = network.call(name, Announce(lease))
     return network.call(name, Announce(lease, refused.ticket))
 
@@ -94,7 +94,7 @@
 def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
     network = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("z", "lpg-a")])
     network.run(2)
-    answer = announced(network, "a", make_lease())
+    answer = announce_with_ticket(network, "a", make_lease())
     assert answer.state == LeaseState.GRANTED
     for name in network.nodes:
         assert network.latest(name, ServersChanged).fresh == (make_lease(),)
