--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -42,7 +42,7 @@
     """Two or more coordinators that hear each other at once, save those cut."""
 
     def __init__(self, vms):
-        self.nodes = {
+        self.coordinators = {
             one.vm: Coordinator(
                 one, tuple(vms), MembershipSettings(), LeaseSettings(), Random(1)
             )
@@ -50,10 +50,10 @@
         }
         self.cut = set()
         self.now = 100.0
-        self.seen = {name: [] for name in self.nodes}
+        self.seen = {name: [] for name in self.coordinators}
 
     def handle(self, name, event):
-        actions = self.nodes[name].handle(event, self.now)
+        actions = self.coordinators[name].handle(event, self.now)
         self.seen[name] += [one for one in actions if not isinstance(one, SendMessage)]
         for action in actions:
             if isinstance(action, SendMessage) and (name, action.vm) not in self.cut:
@@ -63,7 +63,7 @@
     def run(self, seconds):
         for _ in range(round(seconds * 10)):
             self.now += 0.1
-            for name in self.nodes:
+            for name in self.coordinators:
                 self.handle(name, Tick())
 
     def latest(self, name, kind):
@@ -96,9 +96,9 @@
     network.run(2)
     answer = announce_with_ticket(network, "a", make_lease())
     assert answer.state == LeaseState.GRANTED
-    for name in network.nodes:
+    for name in network.coordinators:
         assert network.latest(name, ServersChanged).fresh == (make_lease(),)
     assert isinstance(network.call("b", Depart(make_lease().server)), LeaseAnswer)
     assert network.call("b", Depart(make_lease().server)).state == LeaseState.IN_FORCE
-    for name in network.nodes:
+    for name in network.coordinators:
         assert network.latest(name, ServersChanged) == ServersChanged((), ())
