--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -50,11 +50,13 @@
         }
         self.cut = set()
         self.now = 100.0
-        self.seen = {name: [] for name in self.coordinators}
+        self.actions_by_vm = {name: [] for name in self.coordinators}
 
     def handle(self, name, event):
         actions = self.coordinators[name].handle(event, self.now)
-        self.seen[name] += [one for one in actions if not isinstance(one, SendMessage)]
+        self.actions_by_vm[name] += [
+            one for one in actions if not isinstance(one, SendMessage)
+        ]
         for action in actions:
             if isinstance(action, SendMessage) and (name, action.vm) not in self.cut:
                 self.handle(action.vm, Received(action.message))
@@ -67,7 +69,7 @@
                 self.handle(name, Tick())
 
     def latest(self, name, kind):
-        return [one for one in self.seen[name] if isinstance(one, kind)][-1]
+        return [one for one in self.actions_by_vm[name] if isinstance(one, kind)][-1]
 
     def call(self, name, event):
         return self.handle(name, event)[0]
