--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -43,10 +43,10 @@
 
     def __init__(self, vms):
         self.coordinators = {
-            one.vm: Coordinator(
-                one, tuple(vms), MembershipSettings(), LeaseSettings(), Random(1)
+            vm.vm: Coordinator(
+                vm, tuple(vms), MembershipSettings(), LeaseSettings(), Random(1)
             )
-            for one in vms
+            for vm in vms
         }
         self.cut = set()
         self.now = 100.0
