--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -55,7 +55,7 @@
     def handle(self, name, event):
         actions = self.coordinators[name].handle(event, self.now)
         self.actions_by_vm[name] += [
-            one for one in actions if not isinstance(one, SendMessage)
+            action for action in actions if not isinstance(one, SendMessage)
         ]
         for action in actions:
             if isinstance(action, SendMessage) and (name, action.vm) not in self.cut:
