--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -69,7 +69,9 @@
                 self.handle(name, Tick())
 
     def latest(self, name, kind):
-        return [one for one in self.actions_by_vm[name] if isinstance(one, kind)][-1]
+        return [action for action in self.actions_by_vm[name] if isinstance(one, kind)][
+            -1
+        ]
 
     def call(self, name, event):
         return self.handle(name, event)[0]
