--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -85,7 +85,7 @@
 def test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds():
     network = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("c")])
     network.run(2)
-    assert [one.vm for one in network.latest("a", ViewChanged).live] == ["a", "b", "c"]
+    assert [vm.vm for vm in network.latest("a", ViewChanged).live] == ["a", "b", "c"]
     network.cut = {("c", "a"), ("c", "b")}
     network.run(3)
     for name in ("a", "b"):
