--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -90,7 +90,7 @@
     network.run(3)
     for name in ("a", "b"):
         view = network.latest(name, ViewChanged)
-        assert [one.vm for one in view.live] == ["a", "b"]
+        assert [vm.vm for vm in view.live] == ["a", "b"]
         assert view.lost == ("c",)
     assert [one.vm for one in network.latest("c", ViewChanged).live] == ["c"]
 
