--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -92,7 +92,7 @@
         view = network.latest(name, ViewChanged)
         assert [vm.vm for vm in view.live] == ["a", "b"]
         assert view.lost == ("c",)
-    assert [one.vm for one in network.latest("c", ViewChanged).live] == ["c"]
+    assert [vm.vm for vm in network.latest("c", ViewChanged).live] == ["c"]
 
 
 def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
