Rename test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds to test_three_vms_view_each_other_and_lose_a_silent_one_in_3_seconds

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_coordinator.py test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds test_three_vms_view_each_other_and_lose_a_silent_one_in_3_seconds

--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -82,7 +82,7 @@
     return network.call(name, Announce(lease, refused.ticket))
 
 
-def test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds():
+def test_three_vms_view_each_other_and_lose_a_silent_one_in_3_seconds():
     network = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("c")])
     network.run(2)
     assert [vm.vm for vm in network.latest("a", ViewChanged).live] == ["a", "b", "c"]
