Rename test_a_lease_is_known_everywhere_and_a_leave_ends_it to test_a_lease_reaches_all_vms_and_a_leave_ends_it

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_coordinator.py test_a_lease_is_known_everywhere_and_a_leave_ends_it test_a_lease_reaches_all_vms_and_a_leave_ends_it

--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -95,7 +95,7 @@
     assert [vm.vm for vm in network.latest("c", ViewChanged).live] == ["c"]
 
 
-def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
+def test_a_lease_reaches_all_vms_and_a_leave_ends_it():
     network = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("z", "lpg-a")])
     network.run(2)
     answer = announce_with_ticket(network, "a", make_lease())
