--- a/libs/membership/tests/test_wire.py
+++ b/libs/membership/tests/test_wire.py
@@ -17,17 +17,17 @@
 NUMBERS = st.integers(-(2**63), 2**64 - 1)
 st.register_type_strategy(int, st.one_of(NUMBERS, st.integers(0, 3)))
 st.register_type_strategy(str, st.text(alphabet="ab", max_size=2))
-MESSAGE = st.one_of([st.from_type(kind) for kind in MESSAGE_KINDS.values()])
+MESSAGE_STRATEGY = st.one_of([st.from_type(kind) for kind in MESSAGE_KINDS.values()])
 
 
-@given(MESSAGE)
+@given(MESSAGE_STRATEGY)
 def test_every_message_survives_the_trip(message):
     decoded = MESSAGES.decode(MESSAGES.encode(message)).ok
     assert repr(decoded) == repr(message)
 
 
 @settings(max_examples=200)
-@given(st.lists(MESSAGE, max_size=8))
+@given(st.lists(MESSAGE_STRATEGY, max_size=8))
 def test_no_message_of_a_peer_crashes_the_coordinator(messages):
     coordinator = Coordinator(
         VMS[0], VMS, MembershipSettings(), LeaseSettings(), Random(1)
