--- a/libs/membership/tests/test_wire.py
+++ b/libs/membership/tests/test_wire.py
@@ -14,8 +14,8 @@
 VMS = tuple(
     Vm(VmId(name), ZoneName("cnx-a"), ENDPOINT, ENDPOINT) for name in ("", "a", "b")
 )
-NUMBERS = st.integers(-(2**63), 2**64 - 1)
-st.register_type_strategy(int, st.one_of(NUMBERS, st.integers(0, 3)))
+WIRE_INTEGERS = st.integers(-(2**63), 2**64 - 1)
+st.register_type_strategy(int, st.one_of(WIRE_INTEGERS, st.integers(0, 3)))
 st.register_type_strategy(str, st.text(alphabet="ab", max_size=2))
 MESSAGE_STRATEGY = st.one_of([st.from_type(kind) for kind in MESSAGE_KINDS.values()])
 
