Rename test_every_message_survives_the_trip to test_every_message_is_unchanged_after_encoding_and_decoding

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_wire.py test_every_message_survives_the_trip test_every_message_is_unchanged_after_encoding_and_decoding

--- a/libs/membership/tests/test_wire.py
+++ b/libs/membership/tests/test_wire.py
@@ -21,7 +21,7 @@
 
 
 @given(MESSAGE_STRATEGY)
-def test_every_message_survives_the_trip(message):
+def test_every_message_is_unchanged_after_encoding_and_decoding(message):
     decoded = MESSAGES.decode(MESSAGES.encode(message)).ok
     assert repr(decoded) == repr(message)
 
