Rename test_no_bytes_crash_the_decoder to test_the_decoder_returns_a_result_for_any_bytes

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_wire.py test_no_bytes_crash_the_decoder test_the_decoder_returns_a_result_for_any_bytes

--- a/libs/membership/tests/test_wire.py
+++ b/libs/membership/tests/test_wire.py
@@ -38,5 +38,5 @@
 
 
 @given(st.binary(max_size=64))
-def test_no_bytes_crash_the_decoder(data):
+def test_the_decoder_returns_a_result_for_any_bytes(data):
     assert MESSAGES.decode(b"\x01\x02" + data) is not None
