Complete renames of attributes

Cause: some uses were not followed, and others are shared with libs/lab. Change: the remaining uses follow; LeaseTable.me and MembershipSettings.hold_seconds have their names back.

--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -60,7 +60,7 @@
         """Note that a server which has not left is still held."""
         entry = self.servers.get(server)
         if entry is not None and phase_of(entry.lease.version) != Phase.LEFT:
-            self.servers[server] = entry._replace(at=now)
+            self.servers[server] = entry._replace(last_held_at=now)
 
     def prune(self, cutoff: float) -> bool:
         """Forget servers that nobody has held since; return whether any went."""
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -151,7 +151,7 @@
     @_handle_event.register
     def _on_incarnation_raised(self, event: IncarnationRaised, now: float) -> None:
         self.me = self.me._replace(incarnation=event.incarnation)
-        self.exchange.local_vm = self.local_vm
+        self.exchange.local_vm = self.me
 
     @_handle_event.register
     def _on_leave(self, event: Leave, now: float) -> None:
--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -103,7 +103,7 @@
         versions = [
             retirement.table_version - 1
             for retirement in self.retirements.values()
-            if vm in notice.unacknowledged
+            if vm in retirement.unacknowledged
         ]
         return min(versions, default=0)
 
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -88,6 +88,6 @@
         """Note a loss; the hold before its return doubles with each."""
         if now - self.view_changed_at > settings.stable_seconds:
             self.loss_count = 0
-        hold_down = settings.hold_down_seconds * 2**self.loss_count
+        hold_down = settings.hold_seconds * 2**self.loss_count
         self.hold_down_until = now + min(hold_down, settings.hold_max_seconds)
         self.loss_count += 1
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -33,7 +33,7 @@
     probe_helpers: int = 2
     pause_seconds: float = 1.0
     settle_seconds: float = 1.5
-    hold_down_seconds: float = 1.0
+    hold_seconds: float = 1.0
     hold_max_seconds: float = 8.0
     stable_seconds: float = 60.0
     quiet_rounds: int = 4
