--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -54,10 +54,12 @@
 
 
 def _ring_successor_and_predecessor(
-    local_vm: Vm, members: list[Vm], ring: bytes
+    local_vm: Vm, members: list[Vm], ring_name: bytes
 ) -> set[VmId]:
-    own_position = (weight(ring, local_vm.vm), local_vm.vm)
-    positions = [(weight(ring, vm.vm), vm.vm) for vm in members if vm.vm != local_vm.vm]
+    own_position = (weight(ring_name, local_vm.vm), local_vm.vm)
+    positions = [
+        (weight(ring_name, vm.vm), vm.vm) for vm in members if vm.vm != local_vm.vm
+    ]
     if not positions:
         return set()
     successor = min(
