--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -63,7 +63,8 @@
     if not positions:
         return set()
     successor = min(
-        (place for place in positions if place > own_position), default=min(positions)
+        (position for position in positions if place > own_position),
+        default=min(positions),
     )
     predecessor = max(
         (place for place in positions if place < own_position), default=max(positions)
