--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -67,7 +67,8 @@
         default=min(positions),
     )
     predecessor = max(
-        (place for place in positions if place < own_position), default=max(positions)
+        (position for position in positions if place < own_position),
+        default=max(positions),
     )
     return {VmId(successor[1]), VmId(predecessor[1])}
 
