--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -368,7 +368,7 @@
             if peer is not None:
                 self._update_peer(peer, now)
         self.peers_to_update = set()
-        changed = self.view.update(self.local_vm, self.peers.values(), due=force)
+        changed = self.view.update(self.local_vm, self.peers.values(), force=force)
         if changed is not None:
             self.actions.append(changed)
 
--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -31,7 +31,7 @@
             self.lost.add(peer.vm.vm)
 
     def update(
-        self, local_vm: Vm, peers: Iterable[Peer], *, due: bool
+        self, local_vm: Vm, peers: Iterable[Peer], *, force: bool
     ) -> ViewChanged | None:
         """Return the view if it is not what it was.
 
@@ -40,11 +40,11 @@
             peers: All its peers.
             due: Whether it is to be told even if it did not change.
         """
-        if not (due or self.dirty or self.lost):
+        if not (force or self.dirty or self.lost):
             return None
         self.dirty = False
         view = tuple(sorted([local_vm, *(peer.vm for peer in peers if peer.in_view)]))
-        if view == self.last_reported and not (due or self.lost):
+        if view == self.last_reported and not (force or self.lost):
             return None
         self._log_change(view)
         lost = tuple(sorted(self.lost))
