Rename skip to excluded

The peers that are excluded.

Rename: libs/membership/src/kumquatmux_membership/lease_exchange.py skip excluded

--- a/libs/membership/src/kumquatmux_membership/lease_exchange.py
+++ b/libs/membership/src/kumquatmux_membership/lease_exchange.py
@@ -53,7 +53,7 @@
         self.send(table.holder, request)
 
     def push_changes(
-        self, base_version: int, now: float, skip: set[VmId] | None = None
+        self, base_version: int, now: float, excluded: set[VmId] | None = None
     ) -> None:
         """Tell reachable peers what changed in our table since a version of it.
 
@@ -65,7 +65,7 @@
         if self.held_lease_table.version == base_version:
             return
         for vm in self.peer_tables:
-            if self._reachable(vm, now) and vm not in (skip or ()):
+            if self._reachable(vm, now) and vm not in (excluded or ()):
                 self.send_update(vm, base_version, ack_requested=False)
 
     def send_update(self, vm: VmId, since_version: int, *, ack_requested: bool) -> None:
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -309,7 +309,7 @@
         )
         for vm in sorted(possible_holders):
             self.exchange.send_update(vm, base, ack_requested=True)
-        self.exchange.push_changes(base, now, skip=possible_holders)
+        self.exchange.push_changes(base, now, excluded=possible_holders)
 
     def _possible_holders(self, lease: Lease) -> set[VmId]:
         """Return the VMs that may hold a server: those of its zone, if it is known."""
