--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -124,7 +124,7 @@
     def _detect_pause(self, now: float) -> None:
         gap = now - self.last_event_time
         self.last_event_time = now
-        if gap <= self.settings.pause_seconds:
+        if gap <= self.settings.max_pause_seconds:
             return
         first_event = gap == float("inf")
         self.suspended_until = now + self.settings.settle_seconds
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -31,7 +31,7 @@
     remove_seconds: float = 2.5
     probe_grace_seconds: float = 1.5
     probe_helpers: int = 2
-    pause_seconds: float = 1.0
+    max_pause_seconds: float = 1.0
     settle_seconds: float = 1.5
     hold_seconds: float = 1.0
     hold_max_seconds: float = 8.0
