--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -86,7 +86,7 @@
 
     def record_loss(self, now: float, settings: MembershipSettings) -> None:
         """Note a loss; the hold before its return doubles with each."""
-        if now - self.view_changed_at > settings.stable_seconds:
+        if now - self.view_changed_at > settings.loss_reset_seconds:
             self.loss_count = 0
         hold_down = settings.hold_seconds * 2**self.loss_count
         self.hold_down_until = now + min(hold_down, settings.hold_max_seconds)
