--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -298,7 +298,7 @@
     def _heartbeat_round(self, now: float) -> None:
         period_factor = self.random.uniform(0.9, 1.0)
         self.next_round = now + self.settings.heartbeat_seconds * period_factor
-        skip_silent = self.round_number % self.settings.quiet_rounds
+        skip_silent = self.round_number % self.settings.silent_peer_rounds
         self.round_number += 1
         for peer in self._heartbeat_targets(now):
             silent = now - peer.heartbeat_received_at > self.settings.remove_seconds
