--- a/libs/membership/src/kumquatmux_membership/peer_list.py
+++ b/libs/membership/src/kumquatmux_membership/peer_list.py
@@ -59,7 +59,7 @@
                 continue
             retention_seconds = settings.silent_retention_seconds
             if peer.left:
-                retention_seconds = settings.left_seconds
+                retention_seconds = settings.left_retention_seconds
             if now - max(peer.last_echo, peer.view_changed_at) > retention_seconds:
                 del self.peers[name]
 
@@ -71,7 +71,7 @@
             sorted(
                 peer.vm._replace(incarnation=UNKNOWN_INCARNATION)
                 for peer in self.peers.values()
-                if not peer.left or now - peer.left_at < settings.left_seconds
+                if not peer.left or now - peer.left_at < settings.left_retention_seconds
             )
         )
         if current == self.last_reported:
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -37,7 +37,7 @@
     hold_max_seconds: float = 8.0
     loss_reset_seconds: float = 60.0
     silent_peer_rounds: int = 4
-    left_seconds: float = 10.0
+    left_retention_seconds: float = 10.0
     silent_retention_seconds: float = 3600.0
     fanout: int = 0
 
