--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -66,7 +66,7 @@
     lease_seconds: float = 4.0
     renew_seconds: float = 1.0
     stale_seconds: float = 2.5
-    clock_rate_margin: float = 0.02
+    max_clock_rate_difference: float = 0.02
     ticket_seconds: float = 3.0
     retired_seconds: float = 120.0
     address_hold_seconds: float = 60.0
@@ -85,4 +85,4 @@
     @property
     def lease_lapse_seconds(self) -> float:
         """Time after which no lease is left that was renewed before, on any VM."""
-        return MAX_LEASE_SECONDS * (1 + self.clock_rate_margin)
+        return MAX_LEASE_SECONDS * (1 + self.max_clock_rate_difference)
