Rename ticket_seconds to ticket_lifetime_seconds

Rename: libs/membership/src/kumquatmux_membership/settings.py ticket_seconds ticket_lifetime_seconds

--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -98,7 +98,7 @@
 ) -> bool:
     if ticket is None or ticket.incarnation != local_vm.incarnation:
         return False
-    return 0 <= now - ticket.stamp <= settings.ticket_seconds
+    return 0 <= now - ticket.stamp <= settings.ticket_lifetime_seconds
 
 
 def _lease_of_unknown_session(event: Drain | Depart) -> Result[Lease, Problem]:
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -67,7 +67,7 @@
     renew_seconds: float = 1.0
     stale_seconds: float = 2.5
     max_clock_rate_difference: float = 0.02
-    ticket_seconds: float = 3.0
+    ticket_lifetime_seconds: float = 3.0
     retired_seconds: float = 120.0
     address_hold_seconds: float = 60.0
     silent_holder_retention_seconds: float = 600.0
