--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -138,7 +138,7 @@
         self.freshness.dirty |= self.exchange.drop_silent_holders(now)
         for server in self.exchange.held_servers():
             self.known_servers.mark_held(server, now)
-        cutoff = now - self.settings.retired_seconds
+        cutoff = now - self.settings.retired_retention_seconds
         self.holder.prune(cutoff)
         self.pending_retirements.prune(cutoff)
         if self.known_servers.prune(cutoff):
@@ -300,7 +300,7 @@
             held_lease.expires_at if held_lease else now + self.settings.lease_seconds
         )
         if phase_of(lease.version) == Phase.LEFT:
-            expires = now + self.settings.retired_seconds
+            expires = now + self.settings.retired_retention_seconds
         base = self.holder.version
         self._hold(lease, expires, now)
         possible_holders = self._possible_holders(lease)
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -68,7 +68,7 @@
     stale_seconds: float = 2.5
     max_clock_rate_difference: float = 0.02
     ticket_lifetime_seconds: float = 3.0
-    retired_seconds: float = 120.0
+    retired_retention_seconds: float = 120.0
     address_hold_seconds: float = 60.0
     silent_holder_retention_seconds: float = 600.0
     resend_seconds: float = 0.25
