--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -212,7 +212,10 @@
         if not echoes_own_timestamp(message, self.me.incarnation, now):
             return
         is_behind = table.record_echo(message)
-        if is_behind and now - table.requested_at >= self.settings.resend_seconds:
+        if (
+            is_behind
+            and now - table.requested_at >= self.settings.resend_interval_seconds
+        ):
             self.exchange.request_changes(table, now)
 
     @_handle_message.register
--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -89,7 +89,7 @@
         for retirement in self.retirements.values():
             if (
                 not retirement.unacknowledged
-                or now - retirement.sent_at < self.settings.resend_seconds
+                or now - retirement.sent_at < self.settings.resend_interval_seconds
             ):
                 continue
             if now - retirement.requested_at > self.settings.lease_lapse_seconds:
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -71,7 +71,7 @@
     retired_retention_seconds: float = 120.0
     address_hold_seconds: float = 60.0
     silent_holder_retention_seconds: float = 600.0
-    resend_seconds: float = 0.25
+    resend_interval_seconds: float = 0.25
     max_servers: int = 10_000
 
     @property
