Rename base to base_version

It is a version of the table.

Rename: libs/membership/src/kumquatmux_membership/leases.py base base_version

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -116,11 +116,11 @@
         return self.actions + self.exchange.pop_outgoing()
 
     def _expire_leases(self, now: float) -> None:
-        base = self.holder.version
+        base_version = self.holder.version
         for lease in self.holder.expire(now):
             self.freshness.dirty = True
             decisions.log("lease-ended", server=lease.server, service=lease.service)
-        self.exchange.push_changes(base, now)
+        self.exchange.push_changes(base_version, now)
 
     @singledispatchmethod
     def _handle_event(self, event: Any, now: float) -> None:
