Rename base to base_version

It is a version of the table.

Rename: libs/membership/src/kumquatmux_membership/leases.py base base_version

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -176,9 +176,9 @@
         held_lease = self.holder.held.get(lease.server)
         if held_lease is not None and _same_session(held_lease.lease, lease):
             expires_at = max(expires_at, held_lease.expires_at)
-        base = self.holder.version
+        base_version = self.holder.version
         self._hold(lease, expires_at, now)
-        self.exchange.push_changes(base, now)
+        self.exchange.push_changes(base_version, now)
         self._answer(lease.server, LeaseState.GRANTED, now)
 
     def _at_latest_phase(self, lease: Lease, phase: Phase) -> Lease:
