Rename base to base_version

It is a version of the table.

Rename: libs/membership/src/kumquatmux_membership/leases.py base base_version

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -227,10 +227,10 @@
             self.exchange.request_changes(table, now)
             return
         self.freshness.dirty = True
-        base = self.holder.version
+        base_version = self.holder.version
         for lease in message.leases:
             self._merge_lease(lease, now)
-        self.exchange.push_changes(base, now)
+        self.exchange.push_changes(base_version, now)
         if message.ack_requested:
             ack = LeaseAck(self.me.vm, table.incarnation, table.version)
             self.exchange.send(message.sender, ack)
