Rename base to base_version

It is a version of the table.

Rename: libs/membership/src/kumquatmux_membership/leases.py base base_version

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -304,15 +304,15 @@
         )
         if phase_of(lease.version) == Phase.LEFT:
             expires = now + self.settings.retired_retention_seconds
-        base = self.holder.version
+        base_version = self.holder.version
         self._hold(lease, expires, now)
         possible_holders = self._possible_holders(lease)
         self.pending_retirements.add(
             lease, self.holder.version, set(possible_holders), now
         )
         for vm in sorted(possible_holders):
-            self.exchange.send_update(vm, base, ack_requested=True)
-        self.exchange.push_changes(base, now, excluded=possible_holders)
+            self.exchange.send_update(vm, base_version, ack_requested=True)
+        self.exchange.push_changes(base_version, now, excluded=possible_holders)
 
     def _possible_holders(self, lease: Lease) -> set[VmId]:
         """Return the VMs that may hold a server: those of its zone, if it is known."""
