--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -159,9 +159,9 @@
 
     @_handle_event.register
     def _on_announce(self, event: Announce, now: float) -> None:
-        known = self.known_servers.get(event.lease.server)
+        known_server = self.known_servers.get(event.lease.server)
         match check_announce(
-            event, known, self._admission_state(now), self.settings, now
+            event, known_server, self._admission_state(now), self.settings, now
         ):
             case Result(tag="ok", ok=lease):
                 self._grant(lease, event, now)
