--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -183,9 +183,9 @@
 
     def _at_latest_phase(self, lease: Lease, phase: Phase) -> Lease:
         """Return a lease at a phase, or at a later one that its session reached."""
-        known = self.known_servers.get(lease.server)
-        if known is not None and _same_session(known.lease, lease):
-            phase = max(phase, phase_of(known.lease.version))
+        known_server = self.known_servers.get(lease.server)
+        if known_server is not None and _same_session(known_server.lease, lease):
+            phase = max(phase, phase_of(known_server.lease.version))
         return with_phase(lease, phase)
 
     @_handle_event.register
