--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -285,8 +285,8 @@
 
     def _retire(self, event: Drain | Depart, phase: Phase, now: float) -> None:
         """Drain or leave: note it, tell all, answer whether it surely holds."""
-        known = self.known_servers.get(event.server)
-        match check_retire(event, known):
+        known_server = self.known_servers.get(event.server)
+        match check_retire(event, known_server):
             case Result(tag="ok", ok=lease):
                 lease = self._at_latest_phase(lease, phase)
                 if self.pending_retirements.find(lease) is None:
