--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -345,8 +345,8 @@
         now: float,
         problem: Problem | None = None,
     ) -> None:
-        known = self.known_servers.get(server)
-        session = session_of(known.lease.version) if known else 0
+        known_server = self.known_servers.get(server)
+        session = session_of(known_server.lease.version) if known_server else 0
         ticket = Ticket(self.me.incarnation, now)
         self.actions.insert(0, LeaseAnswer(server, state, ticket, session, problem))
 
