--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -85,13 +85,13 @@
     def apply_settings(self, settings: LeaseSettings) -> None:
         """Bring other periods into force; leases that run keep their end."""
         self.settings = settings = settings.within_bounds
-        for part in (
+        for component in (
             self.known_servers,
             self.pending_retirements,
             self.freshness,
             self.exchange,
         ):
-            part.settings = settings
+            component.settings = settings
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event and return what is to be done.
