--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -38,13 +38,13 @@
         now: float,
     ) -> ServersChanged | None:
         """Return the servers if they are not what they were."""
-        fresh = self._fresh_holders(peer_tables, now)
-        if not self.dirty and fresh == self.fresh_holders:
+        fresh_holders = self._fresh_holders(peer_tables, now)
+        if not self.dirty and fresh_holders == self.fresh_holders:
             return None
-        self._log_holder_changes(fresh)
+        self._log_holder_changes(fresh_holders)
         self.dirty = False
-        self.fresh_holders = fresh
-        tables = [peer_tables[vm].leases for vm in sorted(fresh)]
+        self.fresh_holders = fresh_holders
+        tables = [peer_tables[vm].leases for vm in sorted(fresh_holders)]
         claims = _claims_by_server(holder, tables, known_servers)
         servers = _classify(claims, known_servers)
         if servers == self.latest:
