Rename fresh to fresh_tables

They are lease tables.

Rename: libs/membership/src/kumquatmux_membership/freshness.py fresh fresh_tables

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -59,16 +59,16 @@
         self, peer_tables: dict[VmId, PeerLeaseTable], now: float
     ) -> frozenset[VmId]:
         stale_seconds = self.settings.stale_seconds
-        fresh = [
+        fresh_tables = [
             table
             for table in peer_tables.values()
             if now < table.confirmed_at + stale_seconds
         ]
         stale_times = [
-            table.confirmed_at + stale_seconds for table in fresh if table.leases
+            table.confirmed_at + stale_seconds for table in fresh_tables if table.leases
         ]
         self.valid_until = min(stale_times, default=float("inf"))
-        return frozenset(table.holder for table in fresh)
+        return frozenset(table.holder for table in fresh_tables)
 
     def _log_holder_changes(self, fresh: frozenset[VmId]) -> None:
         for vm in sorted(self.fresh_holders - fresh):
