Rename fresh to fresh_holders

They are holders.

Rename: libs/membership/src/kumquatmux_membership/freshness.py fresh fresh_holders

--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -70,10 +70,10 @@
         self.valid_until = min(stale_times, default=float("inf"))
         return frozenset(table.holder for table in fresh_tables)
 
-    def _log_holder_changes(self, fresh: frozenset[VmId]) -> None:
-        for vm in sorted(self.fresh_holders - fresh):
+    def _log_holder_changes(self, fresh_holders: frozenset[VmId]) -> None:
+        for vm in sorted(self.fresh_holders - fresh_holders):
             decisions.log("holder-stale", vm=vm)
-        for vm in sorted(fresh - self.fresh_holders):
+        for vm in sorted(fresh_holders - self.fresh_holders):
             decisions.log("holder-fresh", vm=vm)
 
 
