--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -32,7 +32,7 @@
 
     def update(
         self,
-        holder: Holder,
+        held_lease_table: Holder,
         peer_tables: dict[VmId, PeerLeaseTable],
         known_servers: KnownServers,
         now: float,
@@ -45,7 +45,7 @@
         self.dirty = False
         self.fresh_holders = fresh_holders
         tables = [peer_tables[vm].leases for vm in sorted(fresh_holders)]
-        claims = _claims_by_server(holder, tables, known_servers)
+        claims = _claims_by_server(held_lease_table, tables, known_servers)
         servers = _classify(claims, known_servers)
         if servers == self.latest:
             return None
