--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -78,11 +78,13 @@
 
 
 def _claims_by_server(
-    holder: Holder, tables: list[dict[ServerId, Lease]], known: KnownServers
+    held_lease_table: Holder, tables: list[dict[ServerId, Lease]], known: KnownServers
 ) -> dict[ServerId, set[tuple[int, ServiceName]]]:
     """Return the versions and services under which each server is held."""
     claims: dict[ServerId, set[tuple[int, ServiceName]]] = {}
-    local_leases = {server: entry.lease for server, entry in holder.held.items()}
+    local_leases = {
+        server: entry.lease for server, entry in held_lease_table.held.items()
+    }
     for table in (local_leases, *tables):
         for server, lease in table.items():
             if phase_of(lease.version) == Phase.LEFT:
