--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -78,7 +78,9 @@
 
 
 def _claims_by_server(
-    held_lease_table: Holder, tables: list[dict[ServerId, Lease]], known: KnownServers
+    held_lease_table: Holder,
+    tables: list[dict[ServerId, Lease]],
+    known_servers: KnownServers,
 ) -> dict[ServerId, set[tuple[int, ServiceName]]]:
     """Return the versions and services under which each server is held."""
     claims: dict[ServerId, set[tuple[int, ServiceName]]] = {}
