--- a/libs/membership/src/kumquatmux_membership/lease_exchange.py
+++ b/libs/membership/src/kumquatmux_membership/lease_exchange.py
@@ -101,15 +101,15 @@
 
     def drop_silent_holders(self, now: float) -> bool:
         """Forget holders not heard for long; return whether there were any."""
-        silent = [
+        silent_holders = [
             vm
             for vm, table in self.peer_tables.items()
             if now - max(table.confirmed_at, table.pending_confirmed_at)
             > self.settings.silent_holder_retention_seconds
         ]
-        for vm in silent:
+        for vm in silent_holders:
             del self.peer_tables[vm]
-        return bool(silent)
+        return bool(silent_holders)
 
     def _reachable(self, vm: VmId, now: float) -> bool:
         table = self.peer_tables[vm]
