Rename members to ring_vms

They are the VMs on a ring.

Rename: libs/membership/src/kumquatmux_membership/sampled.py members ring_vms

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -46,9 +46,9 @@
     ring_count = max(1, fanout // 2)
     neighbours: set[VmId] = set()
     for ring_index in range(ring_count):
-        members = zone_vms if ring_index % 2 == 0 and ring_count > 1 else all_vms
+        ring_vms = zone_vms if ring_index % 2 == 0 and ring_count > 1 else all_vms
         neighbours |= _ring_successor_and_predecessor(
-            local_vm, members, b"ring-%d" % ring_index
+            local_vm, ring_vms, b"ring-%d" % ring_index
         )
     return neighbours - {local_vm.vm}
 
