Rename versions to base_versions

They are base versions.

Rename: libs/membership/src/kumquatmux_membership/notices.py versions base_versions

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -100,12 +100,12 @@
 
     def resend_base_version(self, vm: VmId) -> int:
         """Return the table version from which a VM has to be told."""
-        versions = [
+        base_versions = [
             retirement.table_version - 1
             for retirement in self.retirements.values()
             if vm in retirement.unacknowledged
         ]
-        return min(versions, default=0)
+        return min(base_versions, default=0)
 
     def prune(self, cutoff: float) -> None:
         """Forget notices older than a time."""
