--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -84,8 +84,8 @@
         ]
         for lease in expired:
             self.release(lease.server, now)
-        remaining = (entry.expires_at for entry in self.held.values())
-        self.next_expiry = min(remaining, default=float("inf"))
+        expiry_times = (entry.expires_at for entry in self.held.values())
+        self.next_expiry = min(expiry_times, default=float("inf"))
         return expired
 
     def prune(self, cutoff: float) -> None:
