--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -346,10 +346,10 @@
         target.probe_id = self.last_probe_id
         target.probe_requested_at = now
         request = ProbeRequest(self.local_vm.vm, target.vm.vm, self.last_probe_id)
-        count = min(self.settings.probe_helpers, len(helpers))
-        for helper in self.random.sample(helpers, count):
+        helper_count = min(self.settings.probe_helpers, len(helpers))
+        for helper in self.random.sample(helpers, helper_count):
             self._send(helper, request)
-        decisions.log("peer-suspected", vm=target.vm.vm, helpers=count)
+        decisions.log("peer-suspected", vm=target.vm.vm, helpers=helper_count)
 
     def _update_view(self, event: Event, now: float) -> None:
         """Work out the view again where time or this event may have changed it."""
