--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -44,7 +44,7 @@
 )
 from kumquatmux_membership.view import View
 
-INCARNATION_STEP_BITS = 20
+INCARNATION_STEP_RANDOM_BITS = 20
 HOUSEKEEPING_INTERVAL_SECONDS = 1.0
 MIN_REPLY_INTERVAL_SECONDS = 0.05
 MAX_VMS_IN_HELLO = 64
@@ -224,7 +224,7 @@
     def _receive_superseded(self, message: Superseded, now: float) -> None:
         if message.incarnation <= self.local_vm.incarnation:
             return
-        random_step = 1 + self.random.getrandbits(INCARNATION_STEP_BITS)
+        random_step = 1 + self.random.getrandbits(INCARNATION_STEP_RANDOM_BITS)
         self.local_vm = self.local_vm._replace(
             incarnation=message.incarnation + random_step
         )
