--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -54,20 +54,20 @@
 
 
 def _ring_successor_and_predecessor(
-    local_vm: Vm, members: list[Vm], ring_name: bytes
+    local_vm: Vm, ring_vms: list[Vm], ring_name: bytes
 ) -> set[VmId]:
     own_position = (weight(ring_name, local_vm.vm), local_vm.vm)
     positions = [
-        (weight(ring_name, vm.vm), vm.vm) for vm in members if vm.vm != local_vm.vm
+        (weight(ring_name, vm.vm), vm.vm) for vm in ring_vms if vm.vm != local_vm.vm
     ]
     if not positions:
         return set()
     successor = min(
-        (position for position in positions if place > own_position),
+        (position for position in positions if position > own_position),
         default=min(positions),
     )
     predecessor = max(
-        (position for position in positions if place < own_position),
+        (position for position in positions if position < own_position),
         default=max(positions),
     )
     return {VmId(successor[1]), VmId(predecessor[1])}
--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -55,7 +55,7 @@
     def handle(self, name, event):
         actions = self.coordinators[name].handle(event, self.now)
         self.actions_by_vm[name] += [
-            action for action in actions if not isinstance(one, SendMessage)
+            action for action in actions if not isinstance(action, SendMessage)
         ]
         for action in actions:
             if isinstance(action, SendMessage) and (name, action.vm) not in self.cut:
@@ -69,9 +69,9 @@
                 self.handle(name, Tick())
 
     def latest(self, name, kind):
-        return [action for action in self.actions_by_vm[name] if isinstance(one, kind)][
-            -1
-        ]
+        return [
+            action for action in self.actions_by_vm[name] if isinstance(action, kind)
+        ][-1]
 
     def call(self, name, event):
         return self.handle(name, event)[0]
--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -72,16 +72,16 @@
 
 
 def fresh_servers(made):
-    return [one.server for one in made.freshness.latest.fresh]
+    return [lease.server for lease in made.freshness.latest.fresh]
 
 
 def stale_servers(made):
-    return [one.server for one in made.freshness.latest.stale]
+    return [lease.server for lease in made.freshness.latest.stale]
 
 
 def sent_messages(actions, kind):
-    sent = [action.message for action in actions if isinstance(one, SendMessage)]
-    return [message for message in sent if isinstance(one, kind)]
+    sent = [action.message for action in actions if isinstance(action, SendMessage)]
+    return [message for message in sent if isinstance(message, kind)]
 
 
 def call_with_ticket(made, event, now):
--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -40,11 +40,11 @@
 def test_ring_neighbours_are_mutual_and_limited_by_the_fanout():
     vms = make_vms(ZONES, 20)
     chosen = {
-        vm.vm: ring_neighbours(vm, [other for other in vms if one != vm], 8)
+        vm.vm: ring_neighbours(vm, [other for other in vms if other != vm], 8)
         for vm in vms
     }
     assert all(4 <= len(neighbours) <= 8 for neighbours in chosen.values())
-    assert all(first in chosen[second] for first in chosen for two in chosen[one])
+    assert all(first in chosen[second] for first in chosen for second in chosen[first])
 
 
 def test_every_view_is_complete_with_few_neighbours():
@@ -75,7 +75,7 @@
 def test_two_partitions_merge_after_the_cut_ends():
     world = start_world()
     halves = [[vm.vm for vm in world.vms if vm.zone == zone] for zone in ZONES]
-    paths = {(first, second) for first in halves[0] for two in halves[1]}
+    paths = {(first, second) for first in halves[0] for second in halves[1]}
     world.cut = paths | {(second, first) for first, second in paths}
     world.run(world.now + 20)
     assert set(views(world)) == {tuple(half) for half in halves}
