--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -20,7 +20,7 @@
     """
 
     def __init__(self) -> None:
-        self.last_reported: tuple[Vm, ...] = ()
+        self.latest: tuple[Vm, ...] = ()
         self.lost: set[VmId] = set()
         self.dirty = False
 
@@ -44,16 +44,16 @@
             return None
         self.dirty = False
         view = tuple(sorted([local_vm, *(peer.vm for peer in peers if peer.in_view)]))
-        if view == self.last_reported and not (force or self.lost):
+        if view == self.latest and not (force or self.lost):
             return None
         self._log_change(view)
         lost = tuple(sorted(self.lost))
-        self.last_reported = view
+        self.latest = view
         self.lost = set()
         return ViewChanged(view, lost)
 
     def _log_change(self, view: tuple[Vm, ...]) -> None:
-        previous_ids = {vm.vm for vm in self.last_reported}
+        previous_ids = {vm.vm for vm in self.latest}
         current_ids = {vm.vm for vm in view}
         decisions.log(
             "view-changed",
