--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -65,7 +65,9 @@
     def prune(self, cutoff: float) -> bool:
         """Forget servers that nobody has held since; return whether any went."""
         outdated = [
-            name for name, entry in self.servers.items() if entry.last_held_at < cutoff
+            server
+            for server, entry in self.servers.items()
+            if entry.last_held_at < cutoff
         ]
         for server in outdated:
             del self.servers[server]
