--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -110,9 +110,9 @@
     def prune(self, cutoff: float) -> None:
         """Forget notices older than a time."""
         outdated = [
-            name
-            for name, notice in self.retirements.items()
-            if notice.requested_at < cutoff
+            server
+            for server, retirement in self.retirements.items()
+            if retirement.requested_at < cutoff
         ]
         for server in outdated:
             del self.retirements[server]
