--- a/libs/membership/src/kumquatmux_membership/__init__.py
+++ b/libs/membership/src/kumquatmux_membership/__init__.py
@@ -1,4 +1,4 @@
-"""Failure detection among VMs and leases of backend servers, free of I/O."""
+"""Failure detection among VMs and leases of backend servers, without any I/O."""
 
 from __future__ import annotations
 
--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -1,4 +1,4 @@
-"""Whether a call of a backend server is taken, and what lease it stands for."""
+"""Checks whether a backend server's call is accepted and which lease it results in."""
 
 from __future__ import annotations
 
@@ -15,13 +15,14 @@
 
 
 class AdmissionState(NamedTuple):
-    """What a VM is able to take at the moment.
+    """State of a VM that decides which backend server calls it accepts.
 
     Attributes:
-        me: The VM.
-        leaving: Whether it shuts down.
-        informed: Whether it has asked its peers what they hold.
-        full: Whether it holds as many servers as it may.
+        local_vm: This VM.
+        leaving: Whether this VM is shutting down.
+        peers_consulted: Whether every peer has confirmed its leases since this VM
+            started, or ``stale_seconds`` have passed since then.
+        table_full: Whether this VM holds the maximum number of servers.
     """
 
     local_vm: Vm
@@ -61,7 +62,7 @@
 def check_retire(
     event: Drain | Depart, known_server: KnownServer | None
 ) -> Result[Lease, Problem]:
-    """Return the lease that drains or leaves, or why the call is refused."""
+    """Return the lease to drain or end, or why the call is refused."""
     if known_server is not None and event.service not in (
         "",
         known_server.lease.service,
@@ -102,7 +103,7 @@
 
 
 def _lease_of_unknown_session(event: Drain | Depart) -> Result[Lease, Problem]:
-    """Return a lease for a session that this VM has not seen; its zone is empty."""
+    """Return a lease, without a zone, for a session that this VM does not know."""
     if not event.session or not event.service:
         detail = "this VM does not know the server; give its session and service"
         return Error(Problem("server-unknown", detail, event.server))
--- a/libs/membership/src/kumquatmux_membership/clock.py
+++ b/libs/membership/src/kumquatmux_membership/clock.py
@@ -1,14 +1,15 @@
-"""A clock that never runs backwards, whatever the one it reads does."""
+"""A monotonic clock derived from a clock that may jump backwards."""
 
 from __future__ import annotations
 
 
 class MonotonicClock:
-    """Turns readings of a clock that may jump back into a growing one.
+    """Converts the time of a clock that may jump backwards to monotonic time.
 
     Args:
-        penalty_seconds: How far the steady clock moves on when the other jumps back, so
-            that whatever was fresh before the jump is not fresh after it.
+        jump_advance_seconds: How far the monotonic time advances when the source clock
+            jumps backwards, so that nothing that was fresh before the jump is fresh
+            after it.
     """
 
     def __init__(self, jump_advance_seconds: float) -> None:
@@ -17,12 +18,12 @@
         self.latest_time = float("-inf")
 
     def from_source(self, source_time: float) -> float:
-        """Return the steady time for a reading, in seconds."""
+        """Convert a time of the source clock to monotonic time, both in seconds."""
         if source_time + self.offset < self.latest_time:
             self.offset = self.latest_time + self.jump_advance_seconds - source_time
         self.latest_time = source_time + self.offset
         return self.latest_time
 
     def to_source(self, monotonic_time: float) -> float:
-        """Return the reading that a steady time stands for, in seconds."""
+        """Convert a monotonic time to a time of the source clock, both in seconds."""
         return monotonic_time - self.offset
--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -1,4 +1,4 @@
-"""Membership and leases of one VM behind one interface."""
+"""Failure detection and leases of one VM behind one interface."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
 
 
 class Coordinator:
-    """Runs failure detection and leases on one clock and passes news between them.
+    """Runs failure detection and leases on one clock and passes events between them.
 
     Args:
-        me: This VM.
-        peers: The VMs that the settings name.
-        membership: Settings of failure detection.
-        leases: Settings of leases.
-        random: Chooses probe helpers and spreads heartbeats.
+        local_vm: This VM.
+        peers: VMs configured in the settings.
+        membership_settings: Settings of failure detection.
+        lease_settings: Settings of leases.
+        random: Random source for probe helpers and heartbeat periods.
     """
 
     def __init__(
@@ -47,40 +47,44 @@
 
     @property
     def valid_until(self) -> float:
-        """Reading of the clock from which fresh servers need a ``Tick`` first."""
+        """Time on the caller's clock from which servers may be outdated, in seconds.
+
+        From this time on, a ``Tick`` must be handled before the last reported fresh
+        servers are used.
+        """
         return self.clock.to_source(self.leases.valid_until)
 
     def use_settings(
         self, membership_settings: MembershipSettings, lease_settings: LeaseSettings
     ) -> None:
-        """Bring other periods and timeouts into force at run time."""
+        """Apply new periods and timeouts at run time."""
         self.membership.settings = membership_settings
         self.leases.apply_settings(lease_settings)
 
     def note_settings(self, revision: int, digest: str) -> None:
-        """Take the settings revision and digest that heartbeats carry."""
+        """Set the settings revision and digest that heartbeats carry."""
         self.membership.advertise_settings(revision, digest)
 
     def refresh(self, now: float) -> list[Action]:
-        """Return what time alone has changed, if ``valid_until`` has passed.
+        """Handle a ``Tick`` if ``valid_until`` has passed and return the actions.
 
         Args:
-            now: Reading of a clock, in seconds.
+            now: Time on the caller's clock, in seconds.
         """
         if now < self.valid_until:
             return []
         return self.handle(Tick(), now)
 
     def handle(self, event: Event, now: float) -> list[Action]:
-        """Take one event and return what is to be done.
+        """Handle one event and return the resulting actions.
 
         Args:
-            event: What happened.
-            now: Reading of a clock, in seconds; it may jump.
+            event: The event.
+            now: Time on the caller's clock, in seconds; it may jump.
 
         Returns:
-            What the caller does, in this order; the first is a ``LeaseAnswer`` if a
-            backend server called.
+            The actions that the caller performs, in this order. The first one is a
+            ``LeaseAnswer`` if the event is a call of a backend server.
         """
         monotonic_now = self.clock.from_source(now)
         actions = self.leases.handle(event, monotonic_now)
--- a/libs/membership/src/kumquatmux_membership/events.py
+++ b/libs/membership/src/kumquatmux_membership/events.py
@@ -1,4 +1,4 @@
-"""What membership and leases are told and what they ask for."""
+"""Messages, events and actions of failure detection and leases."""
 
 from __future__ import annotations
 
@@ -10,7 +10,11 @@
 
 
 class MemberStatus(IntEnum):
-    """What a rumour says; of equal incarnations the higher kind wins."""
+    """Status of a VM in a membership update.
+
+    If two updates have the same incarnation and number of refutations, the one with the
+    higher status takes precedence.
+    """
 
     ALIVE = 0
     LOST = 1
@@ -18,14 +22,14 @@
 
 
 class MemberUpdate(NamedTuple):
-    """What one VM passes on about another, in sampled mode.
+    """Status of one VM, spread by gossip in sampled mode.
 
     Attributes:
-        vm: Whom it is about.
-        incarnation: Which incarnation of it.
-        kind: What became of it.
-        refutations: Grows when the VM itself contradicts a rumour of its loss.
-        about: Its addresses, when the receiver may not know it.
+        vm: VM that the update is about.
+        incarnation: Incarnation of that VM.
+        status: Status of that incarnation.
+        refutations: Counter that the VM raises when it refutes a report of its loss.
+        vm_record: Endpoints and zone of the VM, for receivers that may not know it.
     """
 
     vm: VmId
@@ -36,21 +40,23 @@
 
 
 class Heartbeat(NamedTuple):
-    """Sent to each peer every period.
+    """Heartbeat that a VM sends to a peer in every period.
 
     Attributes:
-        sender: Who sends it.
+        sender: VM that sends the heartbeat.
         incarnation: Incarnation of the sender.
-        stamp: The sender's clock, in seconds.
-        echo: The latest stamp seen from the receiver, 0.0 if none.
-        revision: Highest accepted settings revision of the sender.
+        timestamp: Time on the sender's clock, in seconds.
+        echoed_timestamp: Latest timestamp received from the receiver, 0.0 if none.
+        revision: Highest settings revision that the sender has accepted.
         digest: Digest of the settings at that revision.
-        leases: Version of the sender's own lease table.
+        lease_table_version: Version of the table of leases that the sender holds.
         leaving: Whether the sender is shutting down gracefully.
-        echoed: Incarnation of the receiver whose stamp is echoed.
-        refused: Whether the sender does not use the receiver at present.
-        rumours: What the sender passes on about third VMs, in sampled mode.
-        members: Digest of all rumours the sender knows, 0 without sampled mode.
+        echoed_incarnation: Incarnation of the receiver whose timestamp is echoed.
+        excludes_receiver: Whether the sender currently excludes the receiver from its
+            view as unreachable.
+        updates: Membership updates that the sender gossips, in sampled mode.
+        gossip_digest: Digest of all membership updates that the sender knows, 0 without
+            sampled mode.
     """
 
     sender: VmId
@@ -68,14 +74,14 @@
 
 
 class Hello(NamedTuple):
-    """Sent to a VM that may not know the sender yet.
+    """Introduces the sender to a VM that may not know it yet.
 
-    The transport hands it over only if it accepts the sender's key.
+    The transport delivers this message only if it accepts the sender's key.
 
     Attributes:
-        vm: The sender, with its incarnation.
-        known: Further VMs the sender knows.
-        answer: Whether this answers a ``Hello``, so that it gets no answer.
+        vm: Record of the sender, with its incarnation.
+        known_vms: Other VMs that the sender knows.
+        is_reply: Whether this message replies to a ``Hello`` and so gets no reply.
     """
 
     vm: Vm
@@ -84,16 +90,16 @@
 
     @property
     def sender(self) -> VmId:
-        """Who sends it, to be compared with whose key it came under."""
+        """Id of the sender, which the transport compares with the owner of the key."""
         return self.vm.vm
 
 
 class Superseded(NamedTuple):
-    """The receiver uses an incarnation that is not the highest the sender knows.
+    """Tells the receiver that the sender knows a higher incarnation of it.
 
     Attributes:
-        sender: Who tells.
-        incarnation: The highest incarnation of the receiver it has seen.
+        sender: VM that sends the message.
+        incarnation: Highest incarnation of the receiver that the sender has seen.
     """
 
     sender: VmId
@@ -101,7 +107,7 @@
 
 
 class ProbeRequest(NamedTuple):
-    """Ask a peer to reach a third VM that does not answer the asker."""
+    """Asks a peer to probe a third VM that does not answer the sender."""
 
     sender: VmId
     target: VmId
@@ -109,12 +115,12 @@
 
 
 class ProbeAnswer(NamedTuple):
-    """The peer reached the third VM after it was asked to.
+    """Reports that the sender reached the third VM named in a ``ProbeRequest``.
 
     Attributes:
-        sender: Who answers.
+        sender: VM that sends the answer.
         target: The third VM.
-        number: Number of the request.
+        probe_id: Number of the request.
         incarnation: Incarnation of the third VM that was reached.
     """
 
@@ -125,22 +131,23 @@
 
 
 class Lease(NamedTuple):
-    """One backend server's announcement, as its holder tells it.
+    """Lease of a backend server, with the properties that the server announced.
 
     Attributes:
-        server: Its name, ``ip:port``.
-        endpoint: Where it takes packets.
-        service: The one service it serves.
-        zone: Its availability zone.
-        slots: Pieces of work it runs at once.
-        connections: Connections it holds at most.
-        draining: Whether it takes no new work.
-        left: Whether it has left for good.
-        version: Session of the server times four, plus its phase (see ``phases``); the
-            higher version wins wherever two are told.
-        busy: Slots in use by its latest report, -1 without one.
-        open: Connections by its latest report, -1 without one.
-        held: Whether the sender still holds it; False only travels in an update.
+        server: Id of the server, ``ip:port``.
+        endpoint: Endpoint at which the server receives packets.
+        service: The one service that the server belongs to.
+        zone: Availability zone of the server.
+        slots: Number of work items that the server processes concurrently.
+        connections: Maximum number of connections to the server.
+        draining: Whether the server accepts no new work.
+        left: Whether the server has left permanently.
+        version: Session of the server times four, plus its phase (see ``phases``). Of
+            two leases of a server, the one with the higher version takes precedence.
+        busy: Busy slots in the server's latest report, -1 without a report.
+        open: Open connections in the server's latest report, -1 without a report.
+        held: Whether the sender still holds the lease. It is False only in a
+            ``LeaseUpdate``.
     """
 
     server: ServerId
@@ -158,16 +165,16 @@
 
 
 class LeaseUpdate(NamedTuple):
-    """Leases a holder tells its peers, changed ones or, when asked, all.
+    """Leases that a VM sends to its peers: changed leases or its complete table.
 
     Attributes:
-        sender: The holder.
-        incarnation: Incarnation of the holder.
-        version: Version of its lease table after these.
-        complete: Whether these are all it holds.
+        sender: VM that holds the leases.
+        incarnation: Incarnation of the sender.
+        version: Version of the sender's lease table after these changes.
+        is_complete: Whether ``leases`` is the complete table.
         leases: The leases.
-        base: Version of its table that these changes start from.
-        ack: Whether the receiver answers with a ``LeaseAck``.
+        base_version: Version of the table that the changes start from.
+        ack_requested: Whether the receiver must reply with a ``LeaseAck``.
     """
 
     sender: VmId
@@ -180,11 +187,11 @@
 
 
 class LeaseRequest(NamedTuple):
-    """Ask a holder for its leases, because its version is ahead of ours.
+    """Requests the leases of a holder whose table version is ahead of the known one.
 
     Attributes:
-        sender: Who asks.
-        since: Version of the holder's table that the asker has, 0 for none.
+        sender: VM that sends the request.
+        since_version: Version of the holder's table that the sender has, 0 for none.
         incarnation: Incarnation of the holder that this version belongs to.
     """
 
@@ -194,12 +201,12 @@
 
 
 class LeaseAck(NamedTuple):
-    """The receiver's lease table is known here up to a version.
+    """Acknowledges the receiver's lease table up to a version.
 
     Attributes:
-        sender: Who answers.
-        incarnation: Incarnation of the holder that the version belongs to.
-        version: Version of the holder's table.
+        sender: VM that acknowledges the table.
+        incarnation: Incarnation of the receiver that the version belongs to.
+        version: Version of the receiver's lease table.
     """
 
     sender: VmId
@@ -208,12 +215,12 @@
 
 
 class Members(NamedTuple):
-    """All rumours the sender knows, because the receiver's digest differs.
+    """All membership updates that the sender knows, sent because the digests differ.
 
     Attributes:
-        sender: Who tells.
-        rumours: The latest rumour about each VM.
-        answer: Whether this answers ``Members``, so that it gets no answer.
+        sender: VM that sends the message.
+        updates: The latest update about each VM.
+        is_reply: Whether this message replies to ``Members`` and so gets no reply.
     """
 
     sender: VmId
@@ -235,13 +242,13 @@
 
 
 class Received(NamedTuple):
-    """A message from a peer reached this VM."""
+    """A message from a peer has arrived."""
 
     message: Message
 
 
 class Tick(NamedTuple):
-    """Time has passed; due heartbeats and timeouts are looked at."""
+    """Time has passed; heartbeats and timeouts that are due are handled."""
 
 
 class Leave(NamedTuple):
@@ -251,19 +258,19 @@
 class PeersChanged(NamedTuple):
     """The VMs that belong to the system, reachable or not, without this one.
 
-    As an event it gives the VMs that the settings name; as an action it adds those
-    that were learned at run time.
+    As an event, it contains the VMs configured in the settings. As an action, it also
+    contains the VMs discovered at run time.
     """
 
     peers: tuple[Vm, ...]
 
 
 class Ticket(NamedTuple):
-    """A time stamp of the VM that a backend server calls, given back by the server.
+    """Timestamp issued to a backend server, which returns it in its next call.
 
     Attributes:
-        incarnation: Incarnation of the VM.
-        stamp: Its clock when it gave the ticket, in seconds.
+        incarnation: Incarnation of the VM that issued the ticket.
+        stamp: Time on that VM's clock when it issued the ticket, in seconds.
     """
 
     incarnation: int
@@ -271,11 +278,12 @@
 
 
 class Announce(NamedTuple):
-    """A backend server announces or renews itself, already authenticated.
+    """A backend server, already authenticated, announces itself or renews its lease.
 
     Attributes:
-        lease: What it says of itself.
-        ticket: The latest ticket this VM gave it; the lease runs from its stamp.
+        lease: Properties that the server announces.
+        ticket: Latest ticket that this VM issued to the server. The lease duration
+            counts from the ticket's timestamp.
     """
 
     lease: Lease
@@ -283,12 +291,12 @@
 
 
 class Drain(NamedTuple):
-    """A backend server takes no new work from now on.
+    """A backend server accepts no new work from now on.
 
     Attributes:
-        server: Which server.
-        session: Its session, 0 for the latest known here.
-        service: Its service, needed where this VM does not know the server.
+        server: Id of the server.
+        session: Session of the server, 0 for the latest one known to this VM.
+        service: Service of the server, required if this VM does not know the server.
     """
 
     server: ServerId
@@ -297,12 +305,12 @@
 
 
 class Depart(NamedTuple):
-    """A backend server leaves for good.
+    """A backend server ends its session permanently.
 
     Attributes:
-        server: Which server.
-        session: Its session, 0 for the latest known here.
-        service: Its service, needed where this VM does not know the server.
+        server: Id of the server.
+        session: Session of the server, 0 for the latest one known to this VM.
+        service: Service of the server, required if this VM does not know the server.
     """
 
     server: ServerId
@@ -318,36 +326,37 @@
 
 
 class PeerLearned(NamedTuple):
-    """A VM that the settings do not name has joined: connect to it."""
+    """A peer was added to the list of peers: connect to it."""
 
     vm: Vm
 
 
 class IncarnationRaised(NamedTuple):
-    """Peers remember a higher incarnation of this VM, so it now uses this one."""
+    """This VM raised its incarnation because peers knew a higher one than its own."""
 
     incarnation: int
 
 
 class ViewSuspended(NamedTuple):
-    """The view is not to be acted on until the next ``ViewChanged``.
+    """The view must not be used until the next ``ViewChanged``.
 
-    This process stood still, or its clock jumped, for so long that its peers may have
-    gone on without it. Before the first ``ViewChanged`` the same holds.
+    This process was paused, or its clock jumped, for so long that its peers may have
+    removed it from their views. Before the first ``ViewChanged``, the view must not be
+    used either.
 
     Attributes:
-        gap: How long it stood still, in seconds.
+        gap_seconds: How long the process was paused, in seconds.
     """
 
     gap_seconds: float
 
 
 class ViewChanged(NamedTuple):
-    """The VMs this one can reach, itself included.
+    """The VMs that this VM can reach, itself included.
 
     Attributes:
-        live: The VMs that answer.
-        lost: VMs that went without a graceful shutdown since the last view.
+        live: The reachable VMs.
+        lost: VMs that left the view without a graceful shutdown since the last view.
     """
 
     live: tuple[Vm, ...]
@@ -355,11 +364,11 @@
 
 
 class ServersChanged(NamedTuple):
-    """The backend servers known here, with whether their leases are fresh.
+    """The known backend servers, divided into those with fresh and stale leases.
 
     Attributes:
-        fresh: Leases that new work may use, by state.
-        stale: Leases whose holder has not confirmed them lately, or whose address two
+        fresh: Leases that may receive new work, as far as their phase allows it.
+        stale: Leases whose holder has not confirmed them recently, or whose address two
             services claim.
     """
 
@@ -368,7 +377,7 @@
 
 
 class LeaseState(IntEnum):
-    """What became of a call of a backend server."""
+    """Result of a backend server's call."""
 
     GRANTED = 1
     NOTED = 2
@@ -377,16 +386,17 @@
 
 
 class LeaseAnswer(NamedTuple):
-    """The answer to ``Announce``, ``Drain`` or ``Depart``.
+    """Answer to ``Announce``, ``Drain`` or ``Depart``.
 
     Attributes:
-        server: Which server called.
-        state: ``GRANTED`` for a lease, ``NOTED`` when a drain or leave is not yet sure
-            to hold everywhere (repeat the call), ``IN_FORCE`` when no new work
-            arrives later than 3 s from now.
-        ticket: The ticket for the server's next call to this VM.
-        session: The latest session known of the server.
-        problem: Why the call was refused.
+        server: Id of the server that called.
+        state: ``GRANTED`` if the server has a lease; ``NOTED`` if a drain or leave may
+            not be in force on every VM yet, so that the server repeats the call;
+            ``IN_FORCE`` if no new work arrives later than 3 s from now; ``REFUSED`` if
+            there is a problem.
+        ticket: Ticket for the server's next call to this VM.
+        session: Latest known session of the server, 0 if none.
+        problem: Why the call was refused, None if it was not.
     """
 
     server: ServerId
@@ -397,7 +407,7 @@
 
 
 class PeerAhead(NamedTuple):
-    """A peer runs a higher settings revision than this VM."""
+    """A peer has a higher settings revision than this VM."""
 
     vm: VmId
     revision: int
--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -1,4 +1,4 @@
-"""Which backend servers may get new work, by the age of what is known of them."""
+"""Classifies backend servers as fresh or stale by the age of their holders' echoes."""
 
 from __future__ import annotations
 
@@ -13,13 +13,13 @@
 
 
 class FreshnessTracker:
-    """Works out the servers again when leases or the age of a holder change.
+    """Reclassifies servers when leases or the freshness of a holder change.
 
     Args:
-        settings: When a holder is stale.
+        settings: Settings of leases, which say after how long a holder is stale.
 
     Attributes:
-        dirty: Whether leases have changed since the last review.
+        dirty: Whether leases have changed since the last update.
         valid_until: When the next holder becomes stale, in seconds.
     """
 
@@ -37,7 +37,7 @@
         known_servers: KnownServers,
         now: float,
     ) -> ServersChanged | None:
-        """Return the servers if they are not what they were."""
+        """Return the servers if they differ from the last reported ones."""
         fresh_holders = self._fresh_holders(peer_tables, now)
         if not self.dirty and fresh_holders == self.fresh_holders:
             return None
--- a/libs/membership/src/kumquatmux_membership/gossip.py
+++ b/libs/membership/src/kumquatmux_membership/gossip.py
@@ -1,4 +1,4 @@
-"""What VMs say of third VMs: which rumour is the later one, how often it is sent."""
+"""Membership updates spread by gossip: their precedence and how often each is sent."""
 
 from __future__ import annotations
 
@@ -14,12 +14,12 @@
 
 
 def precedence(update: MemberUpdate) -> tuple[int, int, int]:
-    """Return the order of rumours about one VM; the higher one is the later one."""
+    """Return the sort key of an update about one VM; the highest one is the latest."""
     return update.incarnation, update.refutations, update.status
 
 
 class GossipState:
-    """The latest rumour about each VM and those still to be passed on."""
+    """The latest update about each VM and the updates that are still to be sent."""
 
     def __init__(self) -> None:
         self.latest: dict[VmId, MemberUpdate] = {}
@@ -27,7 +27,7 @@
         self.cached_digest = 0
 
     def merge(self, update: MemberUpdate) -> bool:
-        """Take a rumour; return whether it is news."""
+        """Merge an update; return whether it is new."""
         previous = self.latest.get(update.vm)
         if previous is not None and precedence(previous) >= precedence(update):
             return False
@@ -39,7 +39,7 @@
         return True
 
     def next_updates(self) -> tuple[MemberUpdate, ...]:
-        """Return the rumours sent least often so far, counting them as sent."""
+        """Return the updates sent least often and count them as sent."""
         if not self.sends:
             return ()
         selected = nsmallest(
@@ -52,12 +52,12 @@
         return tuple(self.latest[vm] for vm in selected)
 
     def is_alive(self, vm: VmId) -> bool:
-        """Whether no rumour says that a VM was lost or has left."""
+        """Return whether no update reports a VM as lost or left."""
         update = self.latest.get(vm)
         return update is None or update.status == MemberStatus.ALIVE
 
     def digest(self) -> int:
-        """Return 32 bits that are the same on VMs with the same rumours, never 0."""
+        """Return a 32-bit digest, equal on VMs with the same updates and never 0."""
         if self.cached_digest == 0:
             lines = sorted(
                 f"{vm} {precedence(update)}" for vm, update in self.latest.items()
--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -1,4 +1,4 @@
-"""The leases one VM holds itself, with the changes its peers still need."""
+"""The leases that one VM holds, with the changes that its peers still need."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 
 class HeldLease(NamedTuple):
-    """A lease held here.
+    """A lease that this VM holds.
 
     Attributes:
-        lease: What the server said, at its present phase.
-        expires: When it ends without a renewal, in seconds.
-        changed: Version of the table that made its last change.
+        lease: The announced lease, at its current phase.
+        expires_at: When the lease expires without a renewal, in seconds.
+        changed_version: Version of the table at the lease's last change.
     """
 
     lease: Lease
@@ -23,12 +23,12 @@
 
 
 class ReleasedLease(NamedTuple):
-    """A lease no longer held here.
+    """A lease that this VM no longer holds.
 
     Attributes:
-        lease: What it was.
-        changed: Version of the table that released it.
-        at: When, in seconds.
+        lease: The lease as it was held.
+        released_version: Version of the table that released the lease.
+        released_at: When the lease was released, in seconds.
     """
 
     lease: Lease
@@ -37,13 +37,13 @@
 
 
 class Holder:
-    """A versioned table of the leases held by this VM.
+    """Versioned table of the leases that this VM holds.
 
     Attributes:
-        version: Grows with each change that peers have to know.
+        version: Increases with each change that peers must learn.
         held: Leases held, by server.
-        released: Leases let go lately, by server.
-        pruned: Version up to which releases are forgotten.
+        released_leases: Leases released recently, by server.
+        pruned_version: Version up to which released leases were removed.
     """
 
     def __init__(self) -> None:
@@ -54,7 +54,7 @@
         self.next_expiry = float("inf")
 
     def hold(self, lease: Lease, expires_at: float) -> bool:
-        """Hold or renew a lease; return whether peers have to know."""
+        """Hold or renew a lease; return whether peers must be told of a change."""
         previous = self.held.get(lease.server)
         changed = previous is None or without_load_report(
             previous.lease
@@ -70,13 +70,13 @@
         return changed
 
     def release(self, server: ServerId, now: float) -> None:
-        """Let a lease go."""
+        """Release a held lease."""
         entry = self.held.pop(server)
         self.version += 1
         self.released_leases[server] = ReleasedLease(entry.lease, self.version, now)
 
     def expire(self, now: float) -> list[Lease]:
-        """Let go and return the leases whose time is over."""
+        """Release the expired leases and return them."""
         if now < self.next_expiry:
             return []
         expired = [
@@ -89,7 +89,7 @@
         return expired
 
     def prune(self, cutoff: float) -> None:
-        """Forget releases older than a time."""
+        """Remove the leases released before a cutoff time."""
         outdated = [
             entry
             for entry in self.released_leases.values()
@@ -100,7 +100,7 @@
             self.pruned_version = max(self.pruned_version, entry.released_version)
 
     def changes_since(self, version: int) -> tuple[Lease, ...]:
-        """Return what changed after a version, releases as not held."""
+        """Return the leases changed after a version, with released ones not held."""
         held = [
             entry.lease
             for entry in self.held.values()
@@ -114,10 +114,10 @@
         return tuple(held + released)
 
     def all_leases(self) -> tuple[Lease, ...]:
-        """Return every lease held."""
+        """Return every held lease."""
         return tuple(entry.lease for entry in self.held.values())
 
 
 def without_load_report(lease: Lease) -> Lease:
-    """Return a lease without its load report, which is not worth telling."""
+    """Return a lease without its load report, which is not sent to peers."""
     return lease._replace(busy=-1, open=-1)
--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -1,4 +1,4 @@
-"""The latest thing known of each backend server, whoever told it."""
+"""The latest known lease of each backend server, whichever VM holds it."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 
 class KnownServer(NamedTuple):
-    """The highest version seen of a server's lease.
+    """The lease of a server with the highest version seen.
 
     Attributes:
-        lease: The lease at that version.
-        at: When somebody last held it and it had not left, in seconds.
+        lease: The lease with that version.
+        last_held_at: When a VM last held the server's lease before it left, in seconds.
     """
 
     lease: Lease
@@ -23,10 +23,11 @@
 
 
 class KnownServers:
-    """Servers by name, so that no older message undoes what a later one said.
+    """Latest known leases by server, which older messages cannot overwrite.
 
     Args:
-        settings: How long an address stays with its service.
+        settings: Settings of leases, which say how long an address stays reserved for
+            its service.
     """
 
     def __init__(self, settings: LeaseSettings) -> None:
@@ -34,11 +35,15 @@
         self.servers: dict[ServerId, KnownServer] = {}
 
     def get(self, server: ServerId) -> KnownServer | None:
-        """Return what is known of a server."""
+        """Return the latest known lease of a server, None if there is none."""
         return self.servers.get(server)
 
     def merge(self, lease: Lease, now: float) -> None:
-        """Take a lease that somebody holds now."""
+        """Store a lease that a VM holds now, unless it is outdated.
+
+        A lease is outdated if a higher version is known. It is also ignored while its
+        address is reserved for another service.
+        """
         previous = self.servers.get(lease.server)
         if previous is not None and previous.lease.version > lease.version:
             return
@@ -57,13 +62,13 @@
         return now - previous.last_held_at < self.settings.address_hold_seconds
 
     def mark_held(self, server: ServerId, now: float) -> None:
-        """Note that a server which has not left is still held."""
+        """Record that a server is still held, unless it has left."""
         entry = self.servers.get(server)
         if entry is not None and phase_of(entry.lease.version) != Phase.LEFT:
             self.servers[server] = entry._replace(last_held_at=now)
 
     def prune(self, cutoff: float) -> bool:
-        """Forget servers that nobody has held since; return whether any went."""
+        """Remove servers last held before a cutoff time; return whether any existed."""
         outdated = [
             server
             for server, entry in self.servers.items()
--- a/libs/membership/src/kumquatmux_membership/lease_exchange.py
+++ b/libs/membership/src/kumquatmux_membership/lease_exchange.py
@@ -1,4 +1,4 @@
-"""Tells peers what changed in the leases held here, and asks for what they hold."""
+"""Sends changes of the leases held by this VM to peers and requests their leases."""
 
 from __future__ import annotations
 
@@ -16,12 +16,13 @@
 
 
 class LeaseExchange:
-    """The exchange of lease tables with the other VMs.
+    """Exchanges lease tables with the other VMs.
 
     Args:
-        me: This VM.
-        settings: When a peer counts as reachable and when it is forgotten.
-        holder: The leases held here.
+        local_vm: This VM.
+        settings: Settings of leases, which say when a peer is unreachable and when its
+            leases are dropped.
+        held_lease_table: The leases that this VM holds.
     """
 
     def __init__(
@@ -34,20 +35,20 @@
         self.outgoing: list[Action] = []
 
     def pop_outgoing(self) -> list[Action]:
-        """Return the messages to be sent since the last call."""
+        """Return the messages to send and clear the list."""
         outgoing = self.outgoing
         self.outgoing = []
         return outgoing
 
     def peer_table(self, vm: VmId) -> PeerLeaseTable:
-        """Return what a peer has told, nothing for a new one."""
+        """Return the lease table of a peer, an empty one for a new peer."""
         table = self.peer_tables.get(vm)
         if table is None:
             table = self.peer_tables[vm] = PeerLeaseTable(vm)
         return table
 
     def request_changes(self, table: PeerLeaseTable, now: float) -> None:
-        """Ask a holder for what changed since the version known here."""
+        """Request a holder's changes after the known version of its table."""
         table.requested_at = now
         request = LeaseRequest(self.local_vm.vm, table.version, table.incarnation)
         self.send(table.holder, request)
@@ -55,12 +56,12 @@
     def push_changes(
         self, base_version: int, now: float, excluded: set[VmId] | None = None
     ) -> None:
-        """Tell reachable peers what changed in our table since a version of it.
+        """Send reachable peers the changes of this VM's table since a version.
 
         Args:
-            base: The version.
+            base_version: The version.
             now: The time, in seconds.
-            skip: Peers that were told already.
+            excluded: Peers that have already been sent the changes.
         """
         if self.held_lease_table.version == base_version:
             return
@@ -69,7 +70,7 @@
                 self.send_update(vm, base_version, ack_requested=False)
 
     def send_update(self, vm: VmId, since_version: int, *, ack_requested: bool) -> None:
-        """Tell a peer what changed since a version, or all where that is forgotten."""
+        """Send a peer the changes since a version, or all leases if pruned."""
         complete = (
             since_version == 0 or since_version < self.held_lease_table.pruned_version
         )
@@ -89,18 +90,18 @@
         self.send(vm, update)
 
     def send(self, vm: VmId, message: Message) -> None:
-        """Send a message with the next actions."""
+        """Queue a message, which is sent with the next actions."""
         self.outgoing.append(SendMessage(vm, message))
 
     def held_servers(self) -> set[ServerId]:
-        """Return the servers that anybody holds, as far as known."""
+        """Return the servers that this VM or a peer is known to hold."""
         servers = set(self.held_lease_table.held)
         for table in self.peer_tables.values():
             servers.update(table.leases)
         return servers
 
     def drop_silent_holders(self, now: float) -> bool:
-        """Forget holders not heard for long; return whether there were any."""
+        """Drop tables of holders silent for too long; return whether any existed."""
         silent_holders = [
             vm
             for vm, table in self.peer_tables.items()
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -1,8 +1,9 @@
-"""Leases of backend servers: those held here and those that peers tell of.
+"""Leases of backend servers: those that this VM holds and those that its peers hold.
 
-The version of a lease comes from the server itself (see ``phases``), so of two tellings
-the higher version is the later one and two holders cannot contradict each other. What a
-peer tells counts as fresh from the stamp of ours that it echoed with it.
+The version of a lease comes from the server itself (see ``phases``). The higher of two
+reported versions is therefore the later one, and two holders cannot contradict each
+other. A peer's leases count as fresh from the timestamp of this VM that the peer echoed
+with them.
 """
 
 from __future__ import annotations
@@ -58,7 +59,7 @@
     """All leases known to one VM.
 
     Args:
-        me: This VM.
+        local_vm: This VM.
         settings: Periods and limits.
     """
 
@@ -79,11 +80,11 @@
 
     @property
     def valid_until(self) -> float:
-        """Time from which the last ``ServersChanged`` may be wrong, in seconds."""
+        """Time from which the last ``ServersChanged`` may be outdated, in seconds."""
         return min(self.freshness.valid_until, self.holder.next_expiry)
 
     def apply_settings(self, settings: LeaseSettings) -> None:
-        """Bring other periods into force; leases that run keep their end."""
+        """Apply new settings; existing leases keep their expiry times."""
         self.settings = settings = settings.within_bounds
         for component in (
             self.known_servers,
@@ -94,14 +95,15 @@
             component.settings = settings
 
     def handle(self, event: Event, now: float) -> list[Action]:
-        """Take one event and return what is to be done.
+        """Handle one event and return the resulting actions.
 
         Args:
-            event: What happened.
-            now: Time of a clock that never runs backwards, in seconds.
+            event: The event.
+            now: Monotonic time, in seconds.
 
         Returns:
-            What the caller does; the first is a ``LeaseAnswer`` if a server called.
+            The actions that the caller performs. The first one is a ``LeaseAnswer`` if
+            the event is a call of a backend server.
         """
         self.actions = []
         if self.started_at is None:
@@ -124,7 +126,7 @@
 
     @singledispatchmethod
     def _handle_event(self, event: Any, now: float) -> None:
-        """Events of membership are none of ours."""
+        """Ignore an event that concerns failure detection only."""
 
     @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
@@ -182,7 +184,7 @@
         self._answer(lease.server, LeaseState.GRANTED, now)
 
     def _at_latest_phase(self, lease: Lease, phase: Phase) -> Lease:
-        """Return a lease at a phase, or at a later one that its session reached."""
+        """Return a lease at a phase, or at a later one that its session has reached."""
         known_server = self.known_servers.get(lease.server)
         if known_server is not None and _same_session(known_server.lease, lease):
             phase = max(phase, phase_of(known_server.lease.version))
@@ -202,7 +204,7 @@
 
     @singledispatchmethod
     def _handle_message(self, message: Any, now: float) -> None:
-        """Messages of membership are none of ours."""
+        """Ignore a message that concerns failure detection only."""
 
     @_handle_message.register
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
@@ -247,7 +249,7 @@
             self.pending_retirements.acknowledge(message.sender, message.version)
 
     def _current_table(self, vm: VmId, incarnation: int) -> PeerLeaseTable | None:
-        """Return the table of a holder's present process, None for an earlier one."""
+        """Return a holder's lease table, None for an earlier incarnation."""
         table = self.exchange.peer_table(vm)
         previous_incarnation = table.incarnation
         if not table.accept_incarnation(incarnation):
@@ -256,7 +258,7 @@
         return table
 
     def _merge_lease(self, lease: Lease, now: float) -> None:
-        """Merge what a peer tells of a server, also into what is held here."""
+        """Merge a peer's lease into the known servers and the leases held here."""
         if lease.held:
             self.known_servers.merge(lease, now)
         held_lease = self.holder.held.get(lease.server)
@@ -284,7 +286,7 @@
         )
 
     def _retire(self, event: Drain | Depart, phase: Phase, now: float) -> None:
-        """Drain or leave: note it, tell all, answer whether it surely holds."""
+        """Drain or end a session, tell the peers and answer whether it is in force."""
         known_server = self.known_servers.get(event.server)
         match check_retire(event, known_server):
             case Result(tag="ok", ok=lease):
@@ -315,7 +317,7 @@
         self.exchange.push_changes(base_version, now, excluded=possible_holders)
 
     def _possible_holders(self, lease: Lease) -> set[VmId]:
-        """Return the VMs that may hold a server: those of its zone, if it is known."""
+        """Return the VMs of the server's zone, or all VMs if its zone is unknown."""
         zones = (lease.zone,) if lease.zone else {vm.zone for vm in self.peers.values()}
         return {vm.vm for vm in self.peers.values() if vm.zone in zones}
 
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -1,7 +1,8 @@
-"""Failure detection among VMs: heartbeats, probes and the view of who answers.
+"""Failure detection among VMs by heartbeats and probes, and the resulting view.
 
-A peer counts as reachable only while it echoes our own stamps, so both directions of
-the path are known to work and its age is measured by our clock alone.
+A peer counts as reachable only while it echoes timestamps of this VM. This shows that
+both directions of the path work, and the age of the echo is measured by this VM's clock
+alone.
 """
 
 from __future__ import annotations
@@ -51,13 +52,13 @@
 
 
 class Membership:
-    """The view of the VMs that this one can reach.
+    """Maintains the view, which is the set of VMs that this VM can reach.
 
     Args:
-        me: This VM.
-        peers: The VMs that the settings name; this one among them is skipped.
+        local_vm: This VM.
+        peers: VMs configured in the settings; this VM is skipped if it is one of them.
         settings: Periods and timeouts.
-        random: Chooses probe helpers and spreads heartbeats.
+        random: Random source for probe helpers and heartbeat periods.
     """
 
     def __init__(
@@ -91,23 +92,23 @@
         self.actions: list[Action] = []
 
     def advertise_settings(self, revision: int, digest: str) -> None:
-        """Take the settings revision and digest that heartbeats carry."""
+        """Set the settings revision and digest that heartbeats carry."""
         self.settings_revision = revision
         self.settings_digest = digest
 
     def advertise_lease_table(self, version: int) -> None:
-        """Take the version of our lease table that heartbeats carry."""
+        """Set the version of this VM's lease table that heartbeats carry."""
         self.lease_table_version = version
 
     def handle(self, event: Event, now: float) -> list[Action]:
-        """Take one event and return what is to be done.
+        """Handle one event and return the resulting actions.
 
         Args:
-            event: What happened.
-            now: Time of a clock that never runs backwards, in seconds.
+            event: The event.
+            now: Monotonic time, in seconds.
 
         Returns:
-            What the caller does, in this order.
+            The actions that the caller performs, in this order.
         """
         self.actions = []
         self._detect_pause(now)
@@ -144,7 +145,7 @@
 
     @singledispatchmethod
     def _handle_event(self, event: Any, now: float) -> None:
-        """Events of leases are none of ours."""
+        """Ignore an event that concerns leases only."""
 
     @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
@@ -176,7 +177,7 @@
 
     @singledispatchmethod
     def _handle_message(self, message: Any, now: float) -> None:
-        """Messages about leases are none of ours."""
+        """Ignore a message that concerns leases only."""
 
     @_handle_message.register
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> None:
@@ -256,7 +257,7 @@
         peer.probe_confirmed_at = now
 
     def _speaker(self, sender: VmId, incarnation: int) -> Peer | None:
-        """Return the peer that speaks, or None for one unknown or superseded."""
+        """Return the sending peer, None if it is unknown or superseded."""
         peer = self.peers.get(sender)
         if peer is None:
             return None
@@ -267,7 +268,7 @@
         return peer
 
     def _update_incarnation(self, peer: Peer, incarnation: int) -> None:
-        """Drop what is known of an earlier process of a VM."""
+        """Reset the state of a peer if its incarnation has increased."""
         if incarnation <= peer.vm.incarnation:
             return
         incarnation_known = peer.vm.incarnation != UNKNOWN_INCARNATION
@@ -352,7 +353,7 @@
         decisions.log("peer-suspected", vm=target.vm.vm, helpers=helper_count)
 
     def _update_view(self, event: Event, now: float) -> None:
-        """Work out the view again where time or this event may have changed it."""
+        """Update the view for the peers that time or this event may have affected."""
         force = self.suspended_until is not None
         if self.suspended_until is not None:
             if now < self.suspended_until and not self._awaited_peers_ready(now):
@@ -391,46 +392,49 @@
         self._on_peer_view_change(peer, now)
 
     def _heartbeat_targets(self, now: float) -> list[Peer]:
-        """Return the peers that get heartbeats in this round: here all of them."""
+        """Return the peers to send a heartbeat to in this round: all by default."""
         return list(self.peers.values())
 
     def _monitored_peers(self) -> Collection[VmId]:
-        """Return the peers judged by our own contact: here all of them."""
+        """Return the peers judged by their echoes to this VM: all by default."""
         return self.peers.keys()
 
     def _belongs_in_view(self, peer: Peer, now: float) -> bool:
-        """Whether a peer belongs in the view: here by our own contact alone."""
+        """Return whether a peer belongs in the view, by default from its echoes."""
         return peer.usable(now, self.settings)
 
     def _excludes(self, peer: Peer, now: float) -> bool:
-        """Whether we do not use a peer; a suspended view refuses nobody in it."""
+        """Return whether a peer is excluded from the view as unreachable.
+
+        A suspended view excludes none of its VMs.
+        """
         if self.suspended_until is not None and peer.in_view:
             return False
         return not peer.reachable(now, self.settings)
 
     def _on_peer_view_change(self, peer: Peer, now: float) -> None:
-        """Act on a peer that entered or left the view."""
+        """Handle a peer that has entered or left the view."""
         self._send_heartbeat(peer, now)
 
     def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
-        """Return what a heartbeat passes on about third VMs: here nothing."""
+        """Return the membership updates to send to a peer: none by default."""
         return ()
 
     def _gossip_digest(self) -> int:
-        """Return the digest of all rumours known, 0 where there are none."""
+        """Return the digest of all known membership updates, 0 without gossip."""
         return 0
 
     def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
-        """Take what a heartbeat says about third VMs."""
+        """Process the gossip in a heartbeat; does nothing by default."""
 
     def _process_members(self, message: Members, now: float) -> None:
-        """Take all that a peer knows about third VMs."""
+        """Process a ``Members`` message; does nothing by default."""
 
     def _on_shutdown(self, now: float) -> None:
-        """Act on our own graceful shutdown."""
+        """Handle the start of this VM's graceful shutdown; does nothing by default."""
 
     def _on_own_incarnation_raised(self) -> None:
-        """Act on our own incarnation having been raised."""
+        """Handle a raised incarnation of this VM; does nothing by default."""
 
     def _send(self, vm: VmId, message: Message) -> None:
         self.actions.append(SendMessage(vm, message))
--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -1,8 +1,8 @@
-"""Drains and leaves that are not yet sure to hold at every VM of the zone.
+"""Drains and leaves that may not be in force on every VM of the zone yet.
 
-A VM that has acknowledged one never holds the server as live again in that session.
-Where one does not answer, its own lease of the server runs out: a server renews nothing
-as live after it has asked to drain or leave.
+A VM that has acknowledged a drain or leave never holds the server as live again in that
+session. If a VM does not acknowledge it, its own lease of the server expires, because a
+server does not renew as live after it has asked to drain or leave.
 """
 
 from __future__ import annotations
@@ -15,14 +15,14 @@
 
 
 class PendingRetirement:
-    """One drain or leave told to the other VMs of the zone.
+    """One drain or leave that was sent to the other VMs of the zone.
 
     Attributes:
-        version: Version of the lease.
-        table_version: Version of our table that carries it.
-        noted: When the server called first, in seconds.
-        waiting: VMs that have not acknowledged it.
-        sent: When it was last sent.
+        lease_version: Version of the lease.
+        table_version: Version of this VM's lease table that contains the change.
+        requested_at: When the server first called, in seconds.
+        unacknowledged: VMs that have not acknowledged the change.
+        sent_at: When the change was last sent, in seconds.
     """
 
     def __init__(
@@ -40,10 +40,10 @@
 
 
 class Notices:
-    """The notices of one VM, by server.
+    """The pending drains and leaves of one VM, by server.
 
     Args:
-        settings: Periods of leases.
+        settings: Settings of leases.
     """
 
     def __init__(self, settings: LeaseSettings) -> None:
@@ -51,7 +51,7 @@
         self.retirements: dict[ServerId, PendingRetirement] = {}
 
     def find(self, lease: Lease) -> PendingRetirement | None:
-        """Return the notice of a lease at its present version."""
+        """Return the retirement with a lease's version, None if there is none."""
         retirement = self.retirements.get(lease.server)
         if retirement is None or retirement.lease_version != lease.version:
             return None
@@ -60,7 +60,7 @@
     def add(
         self, lease: Lease, table_version: int, unacknowledged: set[VmId], now: float
     ) -> None:
-        """Begin to wait for the VMs that might hold the server as live."""
+        """Start to wait for the VMs that may hold the server as live."""
         self.retirements[lease.server] = PendingRetirement(
             lease.version, table_version, now, unacknowledged
         )
@@ -70,7 +70,7 @@
         )
 
     def in_force(self, lease: Lease, now: float) -> bool:
-        """Whether no VM of the zone holds the server as live any more."""
+        """Return whether no VM of the zone holds the server as live any longer."""
         retirement = self.find(lease)
         if retirement is None:
             return False
@@ -78,13 +78,13 @@
         return lapsed or not retirement.unacknowledged
 
     def acknowledge(self, vm: VmId, table_version: int) -> None:
-        """Note that a VM knows our table up to a version."""
+        """Record that a VM knows this VM's lease table up to a version."""
         for retirement in self.retirements.values():
             if table_version >= retirement.table_version:
                 retirement.unacknowledged.discard(vm)
 
     def take_due_vms(self, now: float) -> list[VmId]:
-        """Return the VMs that are to be told again."""
+        """Return the VMs that are due for a resend and record the time of sending."""
         vms: set[VmId] = set()
         for retirement in self.retirements.values():
             if (
@@ -99,7 +99,7 @@
         return sorted(vms)
 
     def resend_base_version(self, vm: VmId) -> int:
-        """Return the table version from which a VM has to be told."""
+        """Return the table version from which changes must be sent to a VM again."""
         base_versions = [
             retirement.table_version - 1
             for retirement in self.retirements.values()
@@ -108,7 +108,7 @@
         return min(base_versions, default=0)
 
     def prune(self, cutoff: float) -> None:
-        """Forget notices older than a time."""
+        """Remove drains and leaves requested before a cutoff time."""
         outdated = [
             server
             for server, retirement in self.retirements.items()
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -1,4 +1,4 @@
-"""What one VM knows of another."""
+"""State that a VM keeps about one of its peers."""
 
 from __future__ import annotations
 
@@ -12,24 +12,26 @@
     """One other VM, reachable or not.
 
     Attributes:
-        vm: Its addresses and the highest incarnation seen.
-        listed: Whether the settings name it.
-        introduced: Whether it has spoken under its present incarnation.
-        heard: Its latest stamp, by its own clock.
-        heard_at: When that stamp arrived, by ours.
-        contact: Our latest stamp that it echoed: when it surely heard us, and we it.
-        sent: When we sent it a heartbeat last.
-        refused: Whether it says that it does not use us.
-        live: Whether it is in our view.
-        left: Whether it said that it shuts down.
-        left_at: When it first said so.
-        extended_until: Until when it stays because another VM reached it.
-        probe: Number of the probe others make since the last contact, 0 for none.
-        vouched: When another VM last said that it reached it.
-        probe_at: When others were last asked to probe it.
-        hold_until: Until when it stays out although it answers.
-        losses: How often it was lost since it was last stable.
-        since: When it last entered or left the view.
+        vm: Record of the peer with the highest incarnation seen.
+        configured: Whether the settings contain the peer.
+        heartbeat_received: Whether a heartbeat of the current incarnation has arrived.
+        latest_timestamp: Latest timestamp of the peer, on its own clock.
+        heartbeat_received_at: When that timestamp arrived, on this VM's clock.
+        last_echo: Latest timestamp of this VM that the peer echoed. From then on,
+            messages are known to have passed in both directions.
+        heartbeat_sent_at: When this VM last sent the peer a heartbeat.
+        excludes_us: Whether the peer reports that it excludes this VM from its view.
+        in_view: Whether the peer is in this VM's view.
+        left: Whether the peer has announced its graceful shutdown.
+        left_at: When the peer first announced its shutdown.
+        probe_extension_until: Until when the peer stays in the view because another VM
+            reached it.
+        probe_id: Number of the probe requested since the last echo, 0 for none.
+        probe_confirmed_at: When another VM last reported that it reached the peer.
+        probe_requested_at: When other VMs were last asked to probe the peer.
+        hold_down_until: Until when the peer stays out of the view although it answers.
+        loss_count: Number of losses since the peer was last stable.
+        view_changed_at: When the peer last entered or left the view.
     """
 
     def __init__(self, vm: Vm, now: float, *, configured: bool) -> None:
@@ -53,7 +55,7 @@
         self.view_changed_at = now
 
     def renew_incarnation(self, incarnation: int) -> None:
-        """Start anew with a higher incarnation of the VM."""
+        """Reset the state for a higher incarnation of the peer."""
         self.vm = self.vm._replace(incarnation=incarnation)
         self.heartbeat_received = False
         self.latest_timestamp = 0.0
@@ -64,28 +66,28 @@
         self.probe_id = 0
 
     def record_echo(self, timestamp: float) -> None:
-        """Note that it echoed one of our stamps."""
+        """Record that the peer echoed a timestamp of this VM."""
         if timestamp > self.last_echo:
             self.last_echo = timestamp
             self.probe_id = 0
 
     def reachable(self, now: float, settings: MembershipSettings) -> bool:
-        """Whether it and we hear each other, judged from our side alone."""
+        """Return whether messages pass in both directions, judged by this VM alone."""
         if now < self.hold_down_until:
             return False
         echo_recent = now - self.last_echo <= settings.remove_seconds
         return echo_recent or now < self.probe_extension_until
 
     def usable(self, now: float, settings: MembershipSettings) -> bool:
-        """Whether it belongs in our view."""
+        """Return whether the peer belongs in this VM's view."""
         return not (self.left or self.excludes_us) and self.reachable(now, settings)
 
     def suspected(self, now: float, settings: MembershipSettings) -> bool:
-        """Whether its last echo is old enough to have others probe it."""
+        """Return whether the last echo is old enough for a probe by other VMs."""
         return self.in_view and now - self.last_echo > settings.suspect_seconds
 
     def record_loss(self, now: float, settings: MembershipSettings) -> None:
-        """Note a loss; the hold before its return doubles with each."""
+        """Record a loss and start the hold-down, which doubles with each loss."""
         if now - self.view_changed_at > settings.loss_reset_seconds:
             self.loss_count = 0
         hold_down = settings.hold_seconds * 2**self.loss_count
--- a/libs/membership/src/kumquatmux_membership/peer_lease_table.py
+++ b/libs/membership/src/kumquatmux_membership/peer_lease_table.py
@@ -1,4 +1,4 @@
-"""The leases another VM tells of, and since when its telling is known to be true."""
+"""Lease table of a peer, and the time at which it was last confirmed."""
 
 from __future__ import annotations
 
@@ -9,17 +9,20 @@
 
 
 class PeerLeaseTable:
-    """One peer's lease table as known here.
+    """The lease table of one peer, as known to this VM.
 
     Attributes:
         holder: The peer.
-        incarnation: Its incarnation.
-        version: Version of its table up to which it is known here.
-        leases: What it holds, by server.
-        confirmed: Our latest stamp at which, or later, this was its table.
-        pending: A stamp that will count once the version beside it is known.
-        pending_version: Version of the table which the pending stamp speaks of.
-        asked: When its changes were last asked for.
+        incarnation: Incarnation of the peer.
+        version: Version up to which this VM knows the peer's table.
+        leases: Leases that the peer holds, by server.
+        confirmed_at: Latest timestamp of this VM at or after which the peer had this
+            table.
+        pending_confirmed_at: Timestamp that takes effect as ``confirmed_at`` once
+            ``pending_version`` is known.
+        pending_version: Version of the peer's table to which the pending timestamp
+            belongs.
+        requested_at: When changes were last requested, in seconds.
     """
 
     def __init__(self, holder: VmId) -> None:
@@ -33,7 +36,7 @@
         self.requested_at = NEVER
 
     def accept_incarnation(self, incarnation: int) -> bool:
-        """Start anew at a higher incarnation; return whether a message is current."""
+        """Reset the table at a higher incarnation; return False for an earlier one."""
         if incarnation > self.incarnation:
             self.incarnation = incarnation
             self.version = 0
@@ -43,7 +46,7 @@
         return incarnation == self.incarnation
 
     def record_echo(self, message: Heartbeat) -> bool:
-        """Take a heartbeat's echo; return whether changes have to be asked for."""
+        """Record a heartbeat's echo; return whether changes must be requested."""
         if message.lease_table_version <= self.version:
             self.confirmed_at = max(self.confirmed_at, message.echoed_timestamp)
             return False
@@ -52,7 +55,7 @@
         return True
 
     def apply(self, update: LeaseUpdate) -> bool:
-        """Take changes or a complete table; return False if changes are missing."""
+        """Apply changes or a complete table; return False if changes are missing."""
         if update.version <= self.version:
             return True
         if update.is_complete:
--- a/libs/membership/src/kumquatmux_membership/peer_list.py
+++ b/libs/membership/src/kumquatmux_membership/peer_list.py
@@ -1,4 +1,4 @@
-"""The VMs that belong to the system, named by the settings or learned at run time."""
+"""The VMs that belong to the system, configured or discovered at run time."""
 
 from __future__ import annotations
 
@@ -15,12 +15,13 @@
     """All peers of one VM, reachable or not.
 
     Args:
-        me: This VM.
-        listed: The VMs that the settings name; this one among them is skipped.
+        local_vm: This VM.
+        configured: VMs configured in the settings; this VM is skipped if it is one of
+            them.
 
     Attributes:
-        peers: The peers by name.
-        latest: The list as last told.
+        peers: The peers by id.
+        last_reported: The list as last reported to the caller.
     """
 
     def __init__(self, local_vm: VmId, configured: tuple[Vm, ...]) -> None:
@@ -33,7 +34,7 @@
         self.last_reported: tuple[Vm, ...] | None = None
 
     def set_configured(self, configured: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
-        """Take what the settings name now; return the VMs that are new here."""
+        """Set the VMs that the settings configure and return those that are new."""
         configured_by_id = {vm.vm: vm for vm in configured if vm.vm != self.local_vm}
         for name, peer in list(self.peers.items()):
             if peer.configured and name not in configured_by_id:
@@ -44,7 +45,7 @@
         return added
 
     def add(self, vm: Vm, now: float) -> bool:
-        """Add a VM; return whether it is new."""
+        """Add a VM discovered at run time; return whether it is new."""
         if vm.vm in self.peers or vm.vm == self.local_vm:
             return False
         unknown = vm._replace(incarnation=UNKNOWN_INCARNATION)
@@ -53,7 +54,7 @@
         return True
 
     def prune(self, now: float, settings: MembershipSettings) -> None:
-        """Drop learned VMs that left or have been silent for long."""
+        """Remove discovered VMs that have left or were silent for too long."""
         for name, peer in list(self.peers.items()):
             if peer.configured or peer.in_view:
                 continue
@@ -66,7 +67,7 @@
     def report_changes(
         self, now: float, settings: MembershipSettings
     ) -> PeersChanged | None:
-        """Return the list of peers if it is not what it was."""
+        """Return the list of peers if it differs from the last reported one."""
         current = tuple(
             sorted(
                 peer.vm._replace(incarnation=UNKNOWN_INCARNATION)
--- a/libs/membership/src/kumquatmux_membership/phases.py
+++ b/libs/membership/src/kumquatmux_membership/phases.py
@@ -1,7 +1,7 @@
-"""The version of a lease: the server's session, then how far it has come in it.
+"""Versions of leases, which combine the server's session and its phase in it.
 
 A server starts a session with its first announcement. Within a session its phase only
-moves on, so the higher of two versions is the later one, whoever tells it.
+advances, so the higher of two versions is the later one, whichever VM reports it.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 
 class Phase(IntEnum):
-    """How far a server has come in its session."""
+    """Phase of a server in its session."""
 
     LIVE = 0
     DRAINING = 1
@@ -22,22 +22,22 @@
 
 
 def version_of(session: int, phase: Phase) -> int:
-    """Return the version of a lease."""
+    """Return the lease version for a session and a phase."""
     return session * PHASES_PER_SESSION + phase
 
 
 def session_of(version: int) -> int:
-    """Return the session that a version belongs to."""
+    """Return the session of a lease version."""
     return version // PHASES_PER_SESSION
 
 
 def phase_of(version: int) -> Phase:
-    """Return the phase that a version stands for."""
+    """Return the phase of a lease version."""
     return Phase(min(version % PHASES_PER_SESSION, Phase.LEFT))
 
 
 def with_phase(lease: Lease, phase: Phase) -> Lease:
-    """Return a lease moved to a phase of its session."""
+    """Return a copy of a lease at another phase of its session."""
     return lease._replace(
         draining=phase >= Phase.DRAINING,
         left=phase == Phase.LEFT,
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -1,4 +1,4 @@
-"""Probes made for other VMs, answered once the target echoes a later stamp."""
+"""Probes for other VMs, answered once the target echoes a timestamp sent for them."""
 
 from __future__ import annotations
 
@@ -12,11 +12,12 @@
 
 
 class Probe(NamedTuple):
-    """One probe asked of us.
+    """A probe that another VM requested from this VM.
 
     Attributes:
-        request: What was asked.
-        stamp: Our stamp that the target has to echo, or a later one.
+        request: The request.
+        timestamp: Timestamp of this VM that the target must echo; a later one also
+            counts.
     """
 
     request: ProbeRequest
@@ -24,10 +25,10 @@
 
 
 class PendingProbes:
-    """The probes that this VM makes for others.
+    """The probes that this VM makes for others and has not answered yet.
 
     Args:
-        me: This VM.
+        local_vm: This VM.
     """
 
     def __init__(self, local_vm: VmId) -> None:
@@ -35,11 +36,11 @@
         self.pending: list[Probe] = []
 
     def add(self, request: ProbeRequest, timestamp: float) -> None:
-        """Note that the target was just sent a stamp."""
+        """Add a probe for which a heartbeat with this timestamp was just sent."""
         self.pending.append(Probe(request, timestamp))
 
     def take_answers(self, peer: Peer) -> list[SendMessage]:
-        """Return answers to those who asked about a peer that has echoed us."""
+        """Remove the probes that a peer's echo completes and return their answers."""
         answered = [
             probe
             for probe in self.pending
@@ -49,7 +50,7 @@
         return [self._make_answer(probe.request, peer) for probe in answered]
 
     def prune(self, now: float) -> None:
-        """Drop probes that nobody waits for any more."""
+        """Remove probes whose requester no longer waits for an answer."""
         self.pending = [
             probe
             for probe in self.pending
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -1,8 +1,9 @@
-"""Failure detection at a cost per VM that does not grow with their number.
+"""Failure detection whose cost per VM does not grow with the number of VMs.
 
-Each VM exchanges heartbeats with a few neighbours, which several rings of hashes choose
-alike on all VMs, and takes rumours for the rest. A loss that no probe contradicts
-becomes a rumour; the VM it speaks of refutes it.
+Each VM exchanges heartbeats with a few neighbours and learns the status of the other
+VMs by gossip. The neighbours come from several hash rings, which are the same on all
+VMs. A VM that no probe reaches is reported lost in a membership update; if it is alive,
+it refutes the update.
 """
 
 from __future__ import annotations
@@ -31,15 +32,16 @@
 
 
 def ring_neighbours(local_vm: Vm, others: Iterable[Vm], fanout: int) -> set[VmId]:
-    """Return the VMs next to one on several rings.
+    """Return the VMs next to a VM on several hash rings.
 
-    Half of the rings hold its availability zone alone and half hold all VMs. Each gives
-    two neighbours, so both sides choose each other if they know the same VMs.
+    Half of the rings contain only the VMs of its availability zone, the other half
+    contain all VMs. Each ring gives two neighbours, so two VMs choose each other if
+    they know the same VMs.
 
     Args:
-        me: The VM in the middle.
+        local_vm: The VM whose neighbours are returned.
         others: The other VMs.
-        fanout: Neighbours wanted, two a ring.
+        fanout: Number of neighbours wanted, two per ring.
     """
     all_vms = [local_vm, *others]
     zone_vms = [vm for vm in all_vms if vm.zone == local_vm.zone]
@@ -74,13 +76,14 @@
 
 
 class SampledMembership(Membership):
-    """Membership that watches a sample and takes rumours for the rest.
+    """Membership that monitors a sample of the VMs and relies on gossip for the rest.
 
     Args:
-        me: This VM.
-        peers: The VMs that the settings name; this one among them is skipped.
+        local_vm: This VM.
+        peers: VMs configured in the settings; this VM is skipped if it is one of them.
         settings: Periods and timeouts; ``fanout`` is above 0.
-        random: Chooses probe helpers, lost VMs to try, and spreads heartbeats.
+        random: Random source for probe helpers, heartbeat periods and the choice of
+            lost VMs that get a heartbeat.
     """
 
     def __init__(
@@ -116,7 +119,7 @@
         return targets
 
     def _check_neighbour(self, peer: Peer, now: float) -> None:
-        """Have a silent neighbour probed until it is back or rumoured lost."""
+        """Request probes of a silent neighbour until it returns or is reported lost."""
         if peer.in_view or peer.left:
             return
         if now - peer.probe_requested_at > self.settings.suspect_seconds:
@@ -206,7 +209,7 @@
             self._gossip_loss(peer, now)
 
     def _gossip_loss(self, peer: Peer, now: float) -> None:
-        """Spread the loss of a silent neighbour unless others reach it."""
+        """Report a silent neighbour as lost unless other VMs reach it."""
         if peer.in_view or peer.excludes_us or self.leaving:
             return
         if not self.rumours.is_alive(peer.vm.vm):
@@ -241,7 +244,7 @@
         )
 
     def _expedite_next_round(self, now: float) -> None:
-        """Pass news on before the next round is due."""
+        """Bring the next heartbeat round forward to send new updates early."""
         self.next_round = min(self.next_round, now + UPDATE_DELAY_SECONDS)
 
     def _update_neighbours(self, now: float) -> None:
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -12,18 +12,24 @@
         heartbeat_seconds: Period of heartbeats to a peer.
         suspect_seconds: Age of the last echo at which other VMs are asked to probe.
         remove_seconds: Age of the last echo at which a peer leaves the view.
-        probe_grace_seconds: How much longer a peer stays that another VM reached.
-        probe_helpers: How many VMs are asked to probe.
-        pause_seconds: Standing still for longer than this suspends the view.
-        settle_seconds: How long a suspended view waits for its peers.
-        hold_seconds: How long a returning peer stays out after its first loss.
-        hold_max_seconds: How long it stays out at most, doubling with each loss.
-        stable_seconds: After so long in the view a peer's losses are forgotten.
-        quiet_rounds: A silent peer gets a heartbeat once in so many periods.
-        left_seconds: How long a VM that left stays in the list of peers.
-        forget_seconds: How long a silent VM that was learned at run time is kept.
-        fanout: Peers to heartbeat in sampled mode, 0 for all of them. Leases need
-            heartbeats of every holder, so sampled mode serves membership alone.
+        probe_grace_seconds: Additional time in the view for a peer that another VM
+            reached.
+        probe_helpers: Number of VMs that are asked to probe.
+        max_pause_seconds: A longer pause of this process suspends the view.
+        settle_seconds: Maximum time that a suspended view waits for its peers.
+        hold_seconds: How long a returning peer stays out of the view after its first
+            loss. The time doubles with each further loss.
+        hold_max_seconds: Maximum time that a returning peer stays out of the view.
+        loss_reset_seconds: Time in the view after which the losses of a peer are
+            forgotten.
+        silent_peer_rounds: Number of heartbeat periods between two heartbeats to a
+            silent peer.
+        left_retention_seconds: How long a VM that left stays in the list of peers.
+        silent_retention_seconds: How long a silent VM that was discovered at run time
+            is kept.
+        fanout: Number of peers that get heartbeats in sampled mode, 0 for all peers.
+            Leases need heartbeats from every holder, so sampled mode supports
+            membership only.
     """
 
     heartbeat_seconds: float = 0.5
@@ -44,23 +50,27 @@
 
 MAX_LEASE_SECONDS = 4.0
 LONGEST_STALE_SECONDS = 2.5
-"""Bounds that hold whatever the settings say, as VMs may differ in their revision."""
+"""Bounds that apply whatever the settings say, as VMs may use different revisions."""
 
 
 class LeaseSettings(NamedTuple):
     """Settings of the leases of backend servers.
 
     Attributes:
-        lease_seconds: How long a lease runs from the stamp of its ticket.
-        renew_seconds: Period at which backend servers renew.
+        lease_seconds: Duration of a lease from the timestamp of its ticket.
+        renew_seconds: Period at which backend servers renew their leases.
         stale_seconds: Age of a holder's last echo at which its leases are stale.
-        clock_rate_margin: Share by which clocks of two machines may run apart.
-        ticket_seconds: Age at which a ticket is refused.
-        retired_seconds: How long a server that left or ended is remembered.
-        address_hold_seconds: How long another service may not take its address.
-        forget_seconds: How long leases of a silent holder are kept as stale.
-        resend_seconds: Period at which unanswered changes are sent again.
-        max_servers: Servers one VM holds at most.
+        max_clock_rate_difference: Maximum relative difference between the clock rates
+            of two machines.
+        ticket_lifetime_seconds: Age above which a ticket is refused.
+        retired_retention_seconds: How long a server is remembered after it left or its
+            lease expired.
+        address_hold_seconds: How long an address stays reserved for its service after
+            the last lease.
+        silent_holder_retention_seconds: How long leases of a silent holder are kept as
+            stale.
+        resend_interval_seconds: Period at which unacknowledged changes are sent again.
+        max_servers: Maximum number of servers that one VM holds.
     """
 
     lease_seconds: float = 4.0
@@ -76,7 +86,7 @@
 
     @property
     def within_bounds(self) -> LeaseSettings:
-        """These settings within the bounds that the promise of a leave is built on."""
+        """These settings, limited to the bounds that the guarantee of a leave needs."""
         return self._replace(
             lease_seconds=min(self.lease_seconds, MAX_LEASE_SECONDS),
             stale_seconds=min(self.stale_seconds, LONGEST_STALE_SECONDS),
@@ -84,5 +94,5 @@
 
     @property
     def lease_lapse_seconds(self) -> float:
-        """Time after which no lease is left that was renewed before, on any VM."""
+        """Time after which a lease not renewed any more has expired on every VM."""
         return MAX_LEASE_SECONDS * (1 + self.max_clock_rate_difference)
--- a/libs/membership/src/kumquatmux_membership/timestamps.py
+++ b/libs/membership/src/kumquatmux_membership/timestamps.py
@@ -1,4 +1,4 @@
-"""Time stamps in heartbeats: unique, growing, and told apart from invented ones."""
+"""Heartbeat timestamps: unique, increasing, and distinguishable from invented ones."""
 
 from __future__ import annotations
 
@@ -9,12 +9,13 @@
 
 
 def echoes_own_timestamp(message: Heartbeat, incarnation: int, now: float) -> bool:
-    """Whether a heartbeat echoes a stamp that this process may have sent.
+    """Return whether a heartbeat echoes a timestamp that this process may have sent.
 
     Args:
         message: The heartbeat.
-        incarnation: Our incarnation.
-        now: Our clock, in seconds; stamps sent at one moment run ahead of it a little.
+        incarnation: Incarnation of this VM.
+        now: Time on this VM's clock, in seconds. Timestamps sent at the same moment run
+            slightly ahead of it.
     """
     if message.echoed_incarnation != incarnation:
         return False
--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -1,4 +1,4 @@
-"""The view as last told, and the losses to be told with the next one."""
+"""The last reported view, and the losses to report with the next one."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 
 
 class View:
-    """Works out the view again when a peer turned.
+    """Recomputes the view when a peer enters or leaves it.
 
     Attributes:
-        latest: The view as last told.
-        lost: VMs that went ungracefully since then.
-        stale: Whether a peer has turned since then.
+        latest: The view as last reported to the caller.
+        lost: VMs lost without a graceful shutdown since then.
+        dirty: Whether a peer may have entered or left the view since then.
     """
 
     def __init__(self) -> None:
@@ -25,7 +25,7 @@
         self.dirty = False
 
     def record_loss(self, peer: Peer) -> None:
-        """Note that a peer went, unless it had said so before."""
+        """Record that a peer left the view, as lost unless it announced a shutdown."""
         self.dirty = True
         if not peer.left:
             self.lost.add(peer.vm.vm)
@@ -33,12 +33,12 @@
     def update(
         self, local_vm: Vm, peers: Iterable[Peer], *, force: bool
     ) -> ViewChanged | None:
-        """Return the view if it is not what it was.
+        """Return the view if it changed, a VM was lost or a report is forced.
 
         Args:
-            me: This VM.
-            peers: All its peers.
-            due: Whether it is to be told even if it did not change.
+            local_vm: This VM.
+            peers: All peers of this VM.
+            force: Whether to report the view even if it did not change.
         """
         if not (force or self.dirty or self.lost):
             return None
--- a/libs/membership/src/kumquatmux_membership/wire.py
+++ b/libs/membership/src/kumquatmux_membership/wire.py
@@ -1,4 +1,4 @@
-"""Numbers under which membership and leases travel between VMs."""
+"""Message kinds of failure detection and leases in the protocol between VMs."""
 
 from __future__ import annotations
 
--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -39,7 +39,7 @@
 
 
 class CoordinatorNetwork:
-    """Two or more coordinators that hear each other at once, save those cut."""
+    """Coordinators whose messages arrive at once, except over cut paths."""
 
     def __init__(self, vms):
         self.coordinators = {
