--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -272,9 +272,9 @@
         else:
             self.holder.release(lease.server, now)
 
-    def _hold(self, lease: Lease, expires: float, now: float) -> None:
+    def _hold(self, lease: Lease, expires_at: float, now: float) -> None:
         self.known_servers.merge(lease, now)
-        if not self.holder.hold(lease, expires):
+        if not self.holder.hold(lease, expires_at):
             return
         self.freshness.dirty = True
         decisions.log(
