--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -301,13 +301,13 @@
 
     def _start_retirement(self, lease: Lease, now: float) -> None:
         held_lease = self.holder.held.get(lease.server)
-        expires = (
+        expires_at = (
             held_lease.expires_at if held_lease else now + self.settings.lease_seconds
         )
         if phase_of(lease.version) == Phase.LEFT:
-            expires = now + self.settings.retired_retention_seconds
+            expires_at = now + self.settings.retired_retention_seconds
         base_version = self.holder.version
-        self._hold(lease, expires, now)
+        self._hold(lease, expires_at, now)
         possible_holders = self._possible_holders(lease)
         self.pending_retirements.add(
             lease, self.holder.version, set(possible_holders), now
