Rename since to since_version

It is a version of the table.

Rename: libs/membership/src/kumquatmux_membership/leases.py since since_version

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -240,8 +240,8 @@
     @_handle_message.register
     def _receive_request(self, message: LeaseRequest, now: float) -> None:
         is_own_incarnation = message.incarnation == self.me.incarnation
-        since = message.since_version if is_own_incarnation else 0
-        self.exchange.send_update(message.sender, since, ack_requested=False)
+        since_version = message.since_version if is_own_incarnation else 0
+        self.exchange.send_update(message.sender, since_version, ack_requested=False)
 
     @_handle_message.register
     def _receive_ack(self, message: LeaseAck, now: float) -> None:
