--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -353,5 +353,5 @@
         self.actions.insert(0, LeaseAnswer(server, state, ticket, session, problem))
 
 
-def _same_session(first: Lease, other: Lease) -> bool:
-    return session_of(first.version) == session_of(other.version)
+def _same_session(first: Lease, second: Lease) -> bool:
+    return session_of(first.version) == session_of(second.version)
