Rename changed to servers_changed

It is a ServersChanged action.

Rename: libs/membership/src/kumquatmux_membership/leases.py changed servers_changed

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -110,11 +110,11 @@
             self.started_at = now
         self._expire_leases(now)
         self._handle_event(event, now)
-        changed = self.freshness.update(
+        servers_changed = self.freshness.update(
             self.holder, self.peer_tables, self.known_servers, now
         )
-        if changed is not None:
-            self.actions.append(changed)
+        if servers_changed is not None:
+            self.actions.append(servers_changed)
         return self.actions + self.exchange.pop_outgoing()
 
     def _expire_leases(self, now: float) -> None:
