Rename changed to view_changed

It is a ViewChanged action.

Rename: libs/membership/src/kumquatmux_membership/membership.py changed view_changed

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -369,9 +369,9 @@
             if peer is not None:
                 self._update_peer(peer, now)
         self.peers_to_update = set()
-        changed = self.view.update(self.local_vm, self.peers.values(), force=force)
-        if changed is not None:
-            self.actions.append(changed)
+        view_changed = self.view.update(self.local_vm, self.peers.values(), force=force)
+        if view_changed is not None:
+            self.actions.append(view_changed)
 
     def _awaited_peers_ready(self, now: float) -> bool:
         awaited_ids = set(self._monitored_peers()) & self.awaited_peers
