Rename answer to is_reply

Says that the message is a reply.

Rename: libs/membership/src/kumquatmux_membership/membership.py answer is_reply

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -215,7 +215,7 @@
                 self._add_peer(vm, now)
         if not message.is_reply:
             self._send_heartbeat(peer, now)
-            self._send(peer.vm.vm, self._make_hello(answer=True))
+            self._send(peer.vm.vm, self._make_hello(is_reply=True))
 
     @_handle_message.register
     def _receive_members(self, message: Members, now: float) -> None:
@@ -312,7 +312,7 @@
                 continue
             self._send_heartbeat(peer, now)
             if not peer.heartbeat_received:
-                self._send(peer.vm.vm, self._make_hello(answer=False))
+                self._send(peer.vm.vm, self._make_hello(is_reply=False))
 
     def _send_heartbeat(self, peer: Peer, now: float) -> None:
         self.latest_timestamp = max(now, self.latest_timestamp + TIMESTAMP_STEP_SECONDS)
@@ -333,9 +333,9 @@
         peer.heartbeat_sent_at = now
         self._send(peer.vm.vm, message)
 
-    def _make_hello(self, *, answer: bool) -> Hello:
+    def _make_hello(self, *, is_reply: bool) -> Hello:
         known_vms = [peer.vm for peer in self.peers.values() if not peer.left]
-        return Hello(self.local_vm, tuple(known_vms[:MAX_VMS_IN_HELLO]), answer)
+        return Hello(self.local_vm, tuple(known_vms[:MAX_VMS_IN_HELLO]), is_reply)
 
     def _request_probes(self, target: Peer, now: float) -> None:
         helpers = [
