Rename _heartbeat_round to _send_heartbeat_round

Sends the heartbeats of one round. Every use in the folder follows, overrides included; behaviour is unchanged.

Rename: libs/membership/src/kumquatmux_membership/membership.py _heartbeat_round _send_heartbeat_round

--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -150,7 +150,7 @@
     @_handle_event.register
     def _on_tick(self, event: Tick, now: float) -> None:
         if now >= self.next_round:
-            self._heartbeat_round(now)
+            self._send_heartbeat_round(now)
         for vm_id in self._monitored_peers():
             peer = self.peers[vm_id]
             if peer.suspected(now, self.settings) and not peer.probe_id:
@@ -162,7 +162,7 @@
         self.leaving = True
         decisions.log("vm-leaving", vm=self.local_vm.vm)
         self._on_shutdown(now)
-        self._heartbeat_round(now)
+        self._send_heartbeat_round(now)
 
     @_handle_event.register
     def _on_peers_changed(self, event: PeersChanged, now: float) -> None:
@@ -232,7 +232,7 @@
         decisions.log("incarnation-raised", incarnation=self.local_vm.incarnation)
         self.actions.append(IncarnationRaised(self.local_vm.incarnation))
         self._on_own_incarnation_raised()
-        self._heartbeat_round(now)
+        self._send_heartbeat_round(now)
 
     @_handle_message.register
     def _receive_probe_request(self, message: ProbeRequest, now: float) -> None:
@@ -296,7 +296,7 @@
         self.peers_to_update.add(vm.vm)
         self.actions.append(PeerLearned(vm))
 
-    def _heartbeat_round(self, now: float) -> None:
+    def _send_heartbeat_round(self, now: float) -> None:
         period_factor = self.random.uniform(0.9, 1.0)
         self.next_round = now + self.settings.heartbeat_seconds * period_factor
         skip_silent = self.round_number % self.settings.silent_peer_rounds
