Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/src/kumquatmux_membership/sampled.py me local_vm

--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -238,9 +238,11 @@
 
     def _gossip_own_status(self, status: MemberStatus) -> None:
         vm_record = self.local_vm._replace(incarnation=0)
-        me = self.local_vm
+        local_vm = self.local_vm
         self.rumours.merge(
-            MemberUpdate(me.vm, me.incarnation, status, self.refutations, vm_record)
+            MemberUpdate(
+                local_vm.vm, local_vm.incarnation, status, self.refutations, vm_record
+            )
         )
 
     def _expedite_next_round(self, now: float) -> None:
