Rename waiting to unacknowledged

VMs without an acknowledgement.

Rename: libs/membership/src/kumquatmux_membership/notices.py waiting unacknowledged

--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -30,12 +30,12 @@
         lease_version: int,
         table_version: int,
         requested_at: float,
-        waiting: set[VmId],
+        unacknowledged: set[VmId],
     ) -> None:
         self.lease_version = lease_version
         self.table_version = table_version
         self.requested_at = requested_at
-        self.unacknowledged = waiting
+        self.unacknowledged = unacknowledged
         self.sent_at = requested_at
 
 
