--- a/libs/membership/src/kumquatmux_membership/peer_list.py
+++ b/libs/membership/src/kumquatmux_membership/peer_list.py
@@ -36,12 +36,12 @@
     def set_configured(self, configured: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
         """Set the VMs that the settings configure and return those that are new."""
         configured_by_id = {vm.vm: vm for vm in configured if vm.vm != self.local_vm}
-        for name, peer in list(self.peers.items()):
-            if peer.configured and name not in configured_by_id:
-                del self.peers[name]
+        for vm_id, peer in list(self.peers.items()):
+            if peer.configured and vm_id not in configured_by_id:
+                del self.peers[vm_id]
         added = tuple(vm for vm in configured_by_id.values() if self.add(vm, now))
-        for name in configured_by_id:
-            self.peers[name].configured = True
+        for vm_id in configured_by_id:
+            self.peers[vm_id].configured = True
         return added
 
     def add(self, vm: Vm, now: float) -> bool:
