--- a/libs/membership/src/kumquatmux_membership/peer_list.py
+++ b/libs/membership/src/kumquatmux_membership/peer_list.py
@@ -55,14 +55,14 @@
 
     def prune(self, now: float, settings: MembershipSettings) -> None:
         """Remove discovered VMs that have left or were silent for too long."""
-        for name, peer in list(self.peers.items()):
+        for vm_id, peer in list(self.peers.items()):
             if peer.configured or peer.in_view:
                 continue
             retention_seconds = settings.silent_retention_seconds
             if peer.left:
                 retention_seconds = settings.left_retention_seconds
             if now - max(peer.last_echo, peer.view_changed_at) > retention_seconds:
-                del self.peers[name]
+                del self.peers[vm_id]
 
     def report_changes(
         self, now: float, settings: MembershipSettings
