Rename unknown to peer_vm

It is the record of the peer.

Rename: libs/membership/src/kumquatmux_membership/peer_list.py unknown peer_vm

--- a/libs/membership/src/kumquatmux_membership/peer_list.py
+++ b/libs/membership/src/kumquatmux_membership/peer_list.py
@@ -48,8 +48,8 @@
         """Add a VM discovered at run time; return whether it is new."""
         if vm.vm in self.peers or vm.vm == self.local_vm:
             return False
-        unknown = vm._replace(incarnation=UNKNOWN_INCARNATION)
-        self.peers[vm.vm] = Peer(unknown, now, configured=False)
+        peer_vm = vm._replace(incarnation=UNKNOWN_INCARNATION)
+        self.peers[vm.vm] = Peer(peer_vm, now, configured=False)
         decisions.log("peer-learned", vm=vm.vm, zone=vm.zone)
         return True
 
