--- a/libs/membership/src/kumquatmux_membership/lease_exchange.py
+++ b/libs/membership/src/kumquatmux_membership/lease_exchange.py
@@ -71,10 +71,10 @@
 
     def send_update(self, vm: VmId, since_version: int, *, ack_requested: bool) -> None:
         """Send a peer the changes since a version, or all leases if pruned."""
-        complete = (
+        is_complete = (
             since_version == 0 or since_version < self.held_lease_table.pruned_version
         )
-        if complete:
+        if is_complete:
             leases = self.held_lease_table.all_leases()
         else:
             leases = self.held_lease_table.changes_since(since_version)
@@ -82,7 +82,7 @@
             sender=self.local_vm.vm,
             incarnation=self.local_vm.incarnation,
             version=self.held_lease_table.version,
-            is_complete=complete,
+            is_complete=is_complete,
             leases=leases,
             base_version=since_version,
             ack_requested=ack_requested,
