--- a/libs/membership/src/kumquatmux_membership/gossip.py
+++ b/libs/membership/src/kumquatmux_membership/gossip.py
@@ -22,18 +22,18 @@
     """The latest update about each VM and the updates that are still to be sent."""
 
     def __init__(self) -> None:
-        self.latest: dict[VmId, MemberUpdate] = {}
+        self.latest_updates: dict[VmId, MemberUpdate] = {}
         self.sends: dict[VmId, int] = {}
         self.cached_digest = 0
 
     def merge(self, update: MemberUpdate) -> bool:
         """Merge an update; return whether it is new."""
-        previous = self.latest.get(update.vm)
+        previous = self.latest_updates.get(update.vm)
         if previous is not None and precedence(previous) >= precedence(update):
             return False
         if update.vm_record is None and previous is not None:
             update = update._replace(vm_record=previous.vm_record)
-        self.latest[update.vm] = update
+        self.latest_updates[update.vm] = update
         self.sends[update.vm] = 0
         self.cached_digest = 0
         return True
@@ -49,18 +49,19 @@
             self.sends[vm] += 1
             if self.sends[vm] >= SENDS_PER_UPDATE:
                 del self.sends[vm]
-        return tuple(self.latest[vm] for vm in selected)
+        return tuple(self.latest_updates[vm] for vm in selected)
 
     def is_alive(self, vm: VmId) -> bool:
         """Return whether no update reports a VM as lost or left."""
-        update = self.latest.get(vm)
+        update = self.latest_updates.get(vm)
         return update is None or update.status == MemberStatus.ALIVE
 
     def digest(self) -> int:
         """Return a 32-bit digest, equal on VMs with the same updates and never 0."""
         if self.cached_digest == 0:
             lines = sorted(
-                f"{vm} {precedence(update)}" for vm, update in self.latest.items()
+                f"{vm} {precedence(update)}"
+                for vm, update in self.latest_updates.items()
             )
             self.cached_digest = xxhash.xxh32_intdigest("\n".join(lines).encode()) or 1
         return self.cached_digest
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -136,7 +136,7 @@
 
     def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
         updates = self.rumours.next_updates()
-        peer_update = self.rumours.latest.get(peer.vm.vm)
+        peer_update = self.rumours.latest_updates.get(peer.vm.vm)
         if (
             peer_update is None
             or peer_update.status == MemberStatus.ALIVE
@@ -164,14 +164,14 @@
             and now >= self.next_sync
         ):
             self.next_sync = now + SYNC_INTERVAL_SECONDS
-            all_updates = tuple(self.rumours.latest.values())
+            all_updates = tuple(self.rumours.latest_updates.values())
             self._send(peer.vm.vm, Members(self.local_vm.vm, all_updates))
 
     def _process_members(self, message: Members, now: float) -> None:
         for update in message.updates:
             self._process_update(update, now)
         if not message.is_reply:
-            all_updates = tuple(self.rumours.latest.values())
+            all_updates = tuple(self.rumours.latest_updates.values())
             self._send(message.sender, Members(self.local_vm.vm, all_updates, True))
 
     def _process_update(self, update: MemberUpdate, now: float) -> None:
@@ -219,7 +219,7 @@
             last_evidence = max(last_evidence, peer.view_changed_at)
         if not peer.left and now - last_evidence <= self.settings.remove_seconds:
             return
-        previous = self.rumours.latest.get(peer.vm.vm)
+        previous = self.rumours.latest_updates.get(peer.vm.vm)
         update = MemberUpdate(
             vm=peer.vm.vm,
             incarnation=peer.vm.incarnation,
--- a/libs/membership/tests/test_sampled.py
+++ b/libs/membership/tests/test_sampled.py
@@ -110,7 +110,7 @@
         for pair in ((first, second), (second, first)):
             gossip = GossipState()
             is_new = [gossip.merge(update) for update in pair]
-            assert gossip.latest[VmId("a")] == second
+            assert gossip.latest_updates[VmId("a")] == second
             assert is_new == [True, pair[0] == first]
 
 
