--- a/libs/membership/src/kumquatmux_membership/peer_list.py
+++ b/libs/membership/src/kumquatmux_membership/peer_list.py
@@ -24,12 +24,12 @@
         last_reported: The list as last reported to the caller.
     """
 
-    def __init__(self, local_vm: VmId, configured: tuple[Vm, ...]) -> None:
-        self.local_vm = local_vm
+    def __init__(self, local_vm_id: VmId, configured: tuple[Vm, ...]) -> None:
+        self.local_vm = local_vm_id
         self.peers: dict[VmId, Peer] = {
             vm.vm: Peer(vm, NEVER, configured=True)
             for vm in configured
-            if vm.vm != local_vm
+            if vm.vm != local_vm_id
         }
         self.last_reported: tuple[Vm, ...] | None = None
 
