--- a/libs/membership/src/kumquatmux_membership/peer_list.py
+++ b/libs/membership/src/kumquatmux_membership/peer_list.py
@@ -25,7 +25,7 @@
     """
 
     def __init__(self, local_vm_id: VmId, configured: tuple[Vm, ...]) -> None:
-        self.local_vm = local_vm_id
+        self.local_vm_id = local_vm_id
         self.peers: dict[VmId, Peer] = {
             vm.vm: Peer(vm, NEVER, configured=True)
             for vm in configured
@@ -35,7 +35,7 @@
 
     def set_configured(self, configured: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
         """Set the VMs that the settings configure and return those that are new."""
-        configured_by_id = {vm.vm: vm for vm in configured if vm.vm != self.local_vm}
+        configured_by_id = {vm.vm: vm for vm in configured if vm.vm != self.local_vm_id}
         for vm_id, peer in list(self.peers.items()):
             if peer.configured and vm_id not in configured_by_id:
                 del self.peers[vm_id]
@@ -46,7 +46,7 @@
 
     def add(self, vm: Vm, now: float) -> bool:
         """Add a VM discovered at run time; return whether it is new."""
-        if vm.vm in self.peers or vm.vm == self.local_vm:
+        if vm.vm in self.peers or vm.vm == self.local_vm_id:
             return False
         peer_vm = vm._replace(incarnation=UNKNOWN_INCARNATION)
         self.peers[vm.vm] = Peer(peer_vm, now, configured=False)
