--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -31,8 +31,8 @@
         local_vm: This VM.
     """
 
-    def __init__(self, local_vm: VmId) -> None:
-        self.local_vm = local_vm
+    def __init__(self, local_vm_id: VmId) -> None:
+        self.local_vm = local_vm_id
         self.pending: list[Probe] = []
 
     def add(self, request: ProbeRequest, timestamp: float) -> None:
