--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -32,7 +32,7 @@
     """
 
     def __init__(self, local_vm_id: VmId) -> None:
-        self.local_vm = local_vm_id
+        self.local_vm_id = local_vm_id
         self.pending: list[Probe] = []
 
     def add(self, request: ProbeRequest, timestamp: float) -> None:
@@ -60,6 +60,6 @@
     def _make_answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
         incarnation = peer.vm.incarnation
         answer = ProbeAnswer(
-            self.local_vm, request.target, request.probe_id, incarnation
+            self.local_vm_id, request.target, request.probe_id, incarnation
         )
         return SendMessage(request.sender, answer)
