Reword doc comments of membership and leases again

Cause: some summaries were still short of a plain sentence. Change: they name the setting, value or state; case names of one test say what is invalid. Result: no code changed.

--- a/libs/membership/src/kumquatmux_membership/coordinator.py
+++ b/libs/membership/src/kumquatmux_membership/coordinator.py
@@ -27,7 +27,8 @@
         peers: VMs configured in the settings.
         membership_settings: Settings of failure detection.
         lease_settings: Settings of leases.
-        random: Random source for probe helpers and heartbeat periods.
+        random: Random source for probe helpers, heartbeat periods and raised
+            incarnations.
     """
 
     def __init__(
--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -16,7 +16,7 @@
     """Reclassifies servers when leases or the freshness of a holder change.
 
     Args:
-        settings: Settings of leases, which say after how long a holder is stale.
+        settings: Settings of leases; ``stale_seconds`` defines when a holder is stale.
 
     Attributes:
         dirty: Whether leases have changed since the last update.
@@ -82,7 +82,7 @@
     tables: list[dict[ServerId, Lease]],
     known_servers: KnownServers,
 ) -> dict[ServerId, set[tuple[int, ServiceName]]]:
-    """Return the versions and services under which each server is held."""
+    """Return, by server, the version and service of each lease that a VM holds."""
     claims: dict[ServerId, set[tuple[int, ServiceName]]] = {}
     local_leases = {
         server: entry.lease for server, entry in held_lease_table.held.items()
--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -43,7 +43,7 @@
         version: Increases with each change that peers must learn.
         held: Leases held, by server.
         released_leases: Leases released recently, by server.
-        pruned_version: Version up to which released leases were removed.
+        pruned_version: Table version up to which released leases were removed.
     """
 
     def __init__(self) -> None:
@@ -100,7 +100,7 @@
             self.pruned_version = max(self.pruned_version, entry.released_version)
 
     def changes_since(self, version: int) -> tuple[Lease, ...]:
-        """Return the leases changed after a version, with released ones not held."""
+        """Return the changes after a version; released leases have ``held`` False."""
         held = [
             entry.lease
             for entry in self.held.values()
--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -15,7 +15,8 @@
 
     Attributes:
         lease: The lease with that version.
-        last_held_at: When a VM last held the server's lease before it left, in seconds.
+        last_held_at: When a VM last held the lease, at the latest when the server left,
+            in seconds.
     """
 
     lease: Lease
@@ -26,7 +27,7 @@
     """Latest known leases by server, which older messages cannot overwrite.
 
     Args:
-        settings: Settings of leases, which say how long an address stays reserved for
+        settings: Settings of leases; ``address_hold_seconds`` reserves an address for
             its service.
     """
 
@@ -68,7 +69,7 @@
             self.servers[server] = entry._replace(last_held_at=now)
 
     def prune(self, cutoff: float) -> bool:
-        """Remove servers last held before a cutoff time; return whether any existed."""
+        """Remove servers last held before a cutoff; return whether any were removed."""
         outdated = [
             server
             for server, entry in self.servers.items()
--- a/libs/membership/src/kumquatmux_membership/lease_exchange.py
+++ b/libs/membership/src/kumquatmux_membership/lease_exchange.py
@@ -20,8 +20,8 @@
 
     Args:
         local_vm: This VM.
-        settings: Settings of leases, which say when a peer is unreachable and when its
-            leases are dropped.
+        settings: Settings of leases, which define when a peer is unreachable and when
+            its leases are dropped.
         held_lease_table: The leases that this VM holds.
     """
 
@@ -70,7 +70,7 @@
                 self.send_update(vm, base_version, ack_requested=False)
 
     def send_update(self, vm: VmId, since_version: int, *, ack_requested: bool) -> None:
-        """Send a peer the changes since a version, or all leases if pruned."""
+        """Send the changes since a version, or the complete table if they were pruned."""
         is_complete = (
             since_version == 0 or since_version < self.held_lease_table.pruned_version
         )
@@ -101,7 +101,7 @@
         return servers
 
     def drop_silent_holders(self, now: float) -> bool:
-        """Drop tables of holders silent for too long; return whether any existed."""
+        """Drop tables of holders silent for too long; return whether any were dropped."""
         silent_holders = [
             vm
             for vm, table in self.peer_tables.items()
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -2,8 +2,8 @@
 
 The version of a lease comes from the server itself (see ``phases``). The higher of two
 reported versions is therefore the later one, and two holders cannot contradict each
-other. A peer's leases count as fresh from the timestamp of this VM that the peer echoed
-with them.
+other. The freshness of a peer's leases is counted from the timestamp of this VM that
+the peer echoed with them.
 """
 
 from __future__ import annotations
--- a/libs/membership/src/kumquatmux_membership/membership.py
+++ b/libs/membership/src/kumquatmux_membership/membership.py
@@ -58,7 +58,8 @@
         local_vm: This VM.
         peers: VMs configured in the settings; this VM is skipped if it is one of them.
         settings: Periods and timeouts.
-        random: Random source for probe helpers and heartbeat periods.
+        random: Random source for probe helpers, heartbeat periods and raised
+            incarnations.
     """
 
     def __init__(
@@ -425,16 +426,16 @@
         return 0
 
     def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
-        """Process the gossip in a heartbeat; does nothing by default."""
+        """Process the gossip in a heartbeat; do nothing by default."""
 
     def _process_members(self, message: Members, now: float) -> None:
-        """Process a ``Members`` message; does nothing by default."""
+        """Process a ``Members`` message; do nothing by default."""
 
     def _on_shutdown(self, now: float) -> None:
-        """Handle the start of this VM's graceful shutdown; does nothing by default."""
+        """Handle the start of this VM's graceful shutdown; do nothing by default."""
 
     def _on_own_incarnation_raised(self) -> None:
-        """Handle a raised incarnation of this VM; does nothing by default."""
+        """Handle a raised incarnation of this VM; do nothing by default."""
 
     def _send(self, vm: VmId, message: Message) -> None:
         self.actions.append(SendMessage(vm, message))
--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -1,4 +1,4 @@
-"""Drains and leaves that may not be in force on every VM of the zone yet.
+"""Retirements (drains and leaves) that may not be in force in the whole zone yet.
 
 A VM that has acknowledged a drain or leave never holds the server as live again in that
 session. If a VM does not acknowledge it, its own lease of the server expires, because a
--- a/libs/membership/src/kumquatmux_membership/peer.py
+++ b/libs/membership/src/kumquatmux_membership/peer.py
@@ -17,8 +17,8 @@
         heartbeat_received: Whether a heartbeat of the current incarnation has arrived.
         latest_timestamp: Latest timestamp of the peer, on its own clock.
         heartbeat_received_at: When that timestamp arrived, on this VM's clock.
-        last_echo: Latest timestamp of this VM that the peer echoed. From then on,
-            messages are known to have passed in both directions.
+        last_echo: Latest timestamp of this VM that the peer echoed, which is the last
+            time at which messages are known to have passed in both directions.
         heartbeat_sent_at: When this VM last sent the peer a heartbeat.
         excludes_us: Whether the peer reports that it excludes this VM from its view.
         in_view: Whether the peer is in this VM's view.
@@ -72,7 +72,7 @@
             self.probe_id = 0
 
     def reachable(self, now: float, settings: MembershipSettings) -> bool:
-        """Return whether messages pass in both directions, judged by this VM alone."""
+        """Return whether the peer counts as reachable, judged by this VM alone."""
         if now < self.hold_down_until:
             return False
         echo_recent = now - self.last_echo <= settings.remove_seconds
--- a/libs/membership/src/kumquatmux_membership/peer_list.py
+++ b/libs/membership/src/kumquatmux_membership/peer_list.py
@@ -15,7 +15,7 @@
     """All peers of one VM, reachable or not.
 
     Args:
-        local_vm: This VM.
+        local_vm_id: Id of this VM.
         configured: VMs configured in the settings; this VM is skipped if it is one of
             them.
 
@@ -45,7 +45,7 @@
         return added
 
     def add(self, vm: Vm, now: float) -> bool:
-        """Add a VM discovered at run time; return whether it is new."""
+        """Add a VM unless it is known; return whether it was added."""
         if vm.vm in self.peers or vm.vm == self.local_vm_id:
             return False
         peer_vm = vm._replace(incarnation=UNKNOWN_INCARNATION)
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -1,4 +1,4 @@
-"""Probes for other VMs, answered once the target echoes a timestamp sent for them."""
+"""Probes that other VMs request, answered once the target echoes a later timestamp."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
     """The probes that this VM makes for others and has not answered yet.
 
     Args:
-        local_vm: This VM.
+        local_vm_id: Id of this VM.
     """
 
     def __init__(self, local_vm_id: VmId) -> None:
--- a/libs/membership/src/kumquatmux_membership/settings.py
+++ b/libs/membership/src/kumquatmux_membership/settings.py
@@ -22,8 +22,8 @@
         hold_max_seconds: Maximum time that a returning peer stays out of the view.
         loss_reset_seconds: Time in the view after which the losses of a peer are
             forgotten.
-        silent_peer_rounds: Number of heartbeat periods between two heartbeats to a
-            silent peer.
+        silent_peer_rounds: A silent peer outside the view gets a heartbeat once in this
+            many periods.
         left_retention_seconds: How long a VM that left stays in the list of peers.
         silent_retention_seconds: How long a silent VM that was discovered at run time
             is kept.
--- a/libs/membership/src/kumquatmux_membership/timestamps.py
+++ b/libs/membership/src/kumquatmux_membership/timestamps.py
@@ -1,4 +1,4 @@
-"""Heartbeat timestamps: unique, increasing, and distinguishable from invented ones."""
+"""Heartbeat timestamps: unique, increasing, and checked when a peer echoes them."""
 
 from __future__ import annotations
 
--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -115,12 +115,14 @@
 
 
 INVALID_ECHOES = {
-    "of another incarnation": heartbeat_received(1, START)._replace(
+    "of another incarnation of the receiver": heartbeat_received(1, START)._replace(
         message=heartbeat_received(1, START).message._replace(echoed_incarnation=99)
     ),
     "from the future": heartbeat_received(1, START + 5),
-    "of nothing": heartbeat_received(1, 0.0),
-    "of an older sender": heartbeat_received(1, START, incarnation=6),
+    "without a timestamp": heartbeat_received(1, 0.0),
+    "from an earlier incarnation of the sender": heartbeat_received(
+        1, START, incarnation=6
+    ),
 }
 
 
