Rename test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_stamp to test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_timestamp

Test name: says what is checked, in the usual terms.

Rename: libs/membership/tests/test_leases.py test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_stamp test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_timestamp

--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -91,7 +91,7 @@
     return answer
 
 
-def test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_stamp():
+def test_a_peers_lease_is_fresh_for_2_5_seconds_from_the_echoed_timestamp():
     table = make_table()
     table.handle(update_received(1, make_lease()), START)
     assert (fresh_servers(table), stale_servers(table)) == ([], [make_lease().server])
