--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -23,8 +23,8 @@
 from kumquatmux_membership.settings import LeaseSettings
 
 ZONE = ZoneName("cnx-a")
-ME = Vm(VmId("me"), ZONE, Endpoint("127.0.0.1", 1), Endpoint("127.0.0.1", 2), 100)
-PEER = ME._replace(vm=VmId("peer"), incarnation=0)
+LOCAL_VM = Vm(VmId("me"), ZONE, Endpoint("127.0.0.1", 1), Endpoint("127.0.0.1", 2), 100)
+PEER = LOCAL_VM._replace(vm=VmId("peer"), incarnation=0)
 START = 50.0
 
 
@@ -45,7 +45,7 @@
 
 
 def make_table():
-    table = LeaseTable(ME, LeaseSettings())
+    table = LeaseTable(LOCAL_VM, LeaseSettings())
     table.handle(Tick(), START - 10)
     table.handle(PeersChanged((PEER,)), START - 10)
     return table
@@ -107,7 +107,7 @@
 def test_an_echo_confirms_only_the_known_table_version():
     table = make_table()
     actions = table.handle(heartbeat_received(3, echo=START), START)
-    assert sent_messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 0, 7)]
+    assert sent_messages(actions, LeaseRequest) == [LeaseRequest(LOCAL_VM.vm, 0, 7)]
     table.handle(update_received(2, make_lease()), START)
     assert fresh_servers(table) == []
     table.handle(update_received(3, make_lease(number=8), base=2), START)
@@ -138,7 +138,7 @@
     table = make_table()
     table.handle(update_received(2, make_lease()), START)
     actions = table.handle(update_received(5, make_lease(number=8), base=4), START)
-    assert sent_messages(actions, LeaseRequest) == [LeaseRequest(ME.vm, 2, 7)]
+    assert sent_messages(actions, LeaseRequest) == [LeaseRequest(LOCAL_VM.vm, 2, 7)]
     released = make_lease()._replace(held=False)
     table.handle(update_received(2, released, base=1), START)
     table.handle(heartbeat_received(2, START), START)
@@ -165,7 +165,7 @@
     call_with_ticket(table, Announce(make_lease()), START)
     left = make_lease(phase=Phase.LEFT)
     actions = table.handle(update_received(1, left, ack=True), START)
-    assert sent_messages(actions, LeaseAck) == [LeaseAck(ME.vm, 7, 1)]
+    assert sent_messages(actions, LeaseAck) == [LeaseAck(LOCAL_VM.vm, 7, 1)]
     assert table.freshness.latest == ((), ())
     refused = call_with_ticket(table, Announce(make_lease()), START)
     assert refused.problem.code == "session-left"
@@ -277,7 +277,7 @@
 
 
 def test_a_starting_vm_refuses_unknown_servers_until_peers_confirm():
-    table = LeaseTable(ME, LeaseSettings())
+    table = LeaseTable(LOCAL_VM, LeaseSettings())
     table.handle(PeersChanged((PEER,)), START)
     assert (
         call_with_ticket(table, Announce(make_lease()), START).problem.code
