--- a/libs/membership/tests/test_leases.py
+++ b/libs/membership/tests/test_leases.py
@@ -51,9 +51,9 @@
     return table
 
 
-def heartbeat_received(leases, echo, incarnation=7):
+def heartbeat_received(table_version, echo, incarnation=7):
     message = Heartbeat(
-        PEER.vm, incarnation, 1.0, echo, 0, "", leases, echoed_incarnation=100
+        PEER.vm, incarnation, 1.0, echo, 0, "", table_version, echoed_incarnation=100
     )
     return Received(message)
 
