--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -68,7 +68,7 @@
             for name in self.coordinators:
                 self.handle(name, Tick())
 
-    def latest(self, name, kind):
+    def latest_action(self, name, kind):
         return [
             action for action in self.actions_by_vm[name] if isinstance(action, kind)
         ][-1]
@@ -85,14 +85,18 @@
 def test_three_vms_view_each_other_and_lose_a_silent_one_in_3_seconds():
     network = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("c")])
     network.run(2)
-    assert [vm.vm for vm in network.latest("a", ViewChanged).live] == ["a", "b", "c"]
+    assert [vm.vm for vm in network.latest_action("a", ViewChanged).live] == [
+        "a",
+        "b",
+        "c",
+    ]
     network.cut = {("c", "a"), ("c", "b")}
     network.run(3)
     for name in ("a", "b"):
-        view = network.latest(name, ViewChanged)
+        view = network.latest_action(name, ViewChanged)
         assert [vm.vm for vm in view.live] == ["a", "b"]
         assert view.lost == ("c",)
-    assert [vm.vm for vm in network.latest("c", ViewChanged).live] == ["c"]
+    assert [vm.vm for vm in network.latest_action("c", ViewChanged).live] == ["c"]
 
 
 def test_a_lease_reaches_all_vms_and_a_leave_ends_it():
@@ -101,8 +105,8 @@
     answer = announce_with_ticket(network, "a", make_lease())
     assert answer.state == LeaseState.GRANTED
     for name in network.coordinators:
-        assert network.latest(name, ServersChanged).fresh == (make_lease(),)
+        assert network.latest_action(name, ServersChanged).fresh == (make_lease(),)
     assert isinstance(network.call("b", Depart(make_lease().server)), LeaseAnswer)
     assert network.call("b", Depart(make_lease().server)).state == LeaseState.IN_FORCE
     for name in network.coordinators:
-        assert network.latest(name, ServersChanged) == ServersChanged((), ())
+        assert network.latest_action(name, ServersChanged) == ServersChanged((), ())
