Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/tests/test_membership.py me local_vm

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -193,8 +193,8 @@
 
 
 def test_a_heartbeat_of_an_unknown_sender_is_ignored():
-    me, other = make_vms((ZoneName("cnx-a"),), 2)
-    membership = Membership(me, (), MembershipSettings(), Random(1))
+    local_vm, other = make_vms((ZoneName("cnx-a"),), 2)
+    membership = Membership(local_vm, (), MembershipSettings(), Random(1))
     heartbeat = Heartbeat(other.vm, 5, 1.0, 0.0, 9, "", 0)
     actions = membership.handle(Received(heartbeat), 10.0)
     assert not any(isinstance(action, PeerLearned | PeerAhead) for action in actions)
