Rename me to local_vm

The usual term for the VM that runs the code.

Rename: libs/membership/tests/test_membership.py me local_vm

--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -212,8 +212,8 @@
 
 
 def test_a_newer_settings_revision_is_reported_unless_heartbeat_is_old():
-    me, other = make_vms((ZoneName("cnx-a"),), 2)
-    membership = Membership(me, (other,), MembershipSettings(), Random(1))
+    local_vm, other = make_vms((ZoneName("cnx-a"),), 2)
+    membership = Membership(local_vm, (other,), MembershipSettings(), Random(1))
     membership.advertise_settings(4, "x")
     heartbeat = Heartbeat(other.vm, 1, 7.0, 0.0, 5, "y", 0)
     ahead = PeerAhead(other.vm, 5)
