--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -193,9 +193,9 @@
 
 
 def test_a_heartbeat_of_an_unknown_sender_is_ignored():
-    local_vm, other = make_vms((ZoneName("cnx-a"),), 2)
+    local_vm, peer = make_vms((ZoneName("cnx-a"),), 2)
     membership = Membership(local_vm, (), MembershipSettings(), Random(1))
-    heartbeat = Heartbeat(other.vm, 5, 1.0, 0.0, 9, "", 0)
+    heartbeat = Heartbeat(peer.vm, 5, 1.0, 0.0, 9, "", 0)
     actions = membership.handle(Received(heartbeat), 10.0)
     assert not any(isinstance(action, PeerLearned | PeerAhead) for action in actions)
 
