--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -201,12 +201,12 @@
 
 
 def test_a_changed_peer_list_adds_and_removes_peers():
-    local_vm, other = make_vms((ZoneName("cnx-a"),), 2)
+    local_vm, peer = make_vms((ZoneName("cnx-a"),), 2)
     membership = Membership(local_vm, (), MembershipSettings(), Random(1))
     initial_actions = membership.handle(Tick(), 10.0)
     assert ViewChanged((local_vm,), ()) in initial_actions
-    actions_after_add = membership.handle(PeersChanged((local_vm, other)), 10.1)
-    assert PeersChanged((other,)) in actions_after_add
+    actions_after_add = membership.handle(PeersChanged((local_vm, peer)), 10.1)
+    assert PeersChanged((peer,)) in actions_after_add
     actions_after_remove = membership.handle(PeersChanged((local_vm,)), 10.2)
     assert PeersChanged(()) in actions_after_remove
 
