--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -212,11 +212,11 @@
 
 
 def test_a_newer_settings_revision_is_reported_unless_heartbeat_is_old():
-    local_vm, other = make_vms((ZoneName("cnx-a"),), 2)
-    membership = Membership(local_vm, (other,), MembershipSettings(), Random(1))
+    local_vm, peer = make_vms((ZoneName("cnx-a"),), 2)
+    membership = Membership(local_vm, (peer,), MembershipSettings(), Random(1))
     membership.advertise_settings(4, "x")
-    heartbeat = Heartbeat(other.vm, 1, 7.0, 0.0, 5, "y", 0)
-    ahead = PeerAhead(other.vm, 5)
+    heartbeat = Heartbeat(peer.vm, 1, 7.0, 0.0, 5, "y", 0)
+    ahead = PeerAhead(peer.vm, 5)
     assert ahead in membership.handle(Received(heartbeat), 10.0)
     assert ahead not in membership.handle(Received(heartbeat), 10.1)
     older = heartbeat._replace(incarnation=0, timestamp=8.0)
