--- a/libs/membership/src/kumquatmux_membership/lease_exchange.py
+++ b/libs/membership/src/kumquatmux_membership/lease_exchange.py
@@ -70,7 +70,7 @@
                 self.send_update(vm, base_version, ack_requested=False)
 
     def send_update(self, vm: VmId, since_version: int, *, ack_requested: bool) -> None:
-        """Send the changes since a version, or the complete table if they were pruned."""
+        """Send changes since a version, or the complete table if some were pruned."""
         is_complete = (
             since_version == 0 or since_version < self.held_lease_table.pruned_version
         )
@@ -101,7 +101,7 @@
         return servers
 
     def drop_silent_holders(self, now: float) -> bool:
-        """Drop tables of holders silent for too long; return whether any were dropped."""
+        """Drop tables of holders silent too long; return whether any were dropped."""
         silent_holders = [
             vm
             for vm, table in self.peer_tables.items()
