Rename _answer to _add_answer

Adds the answer to the actions.

Rename: libs/membership/src/kumquatmux_membership/leases.py _answer _add_answer

--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -181,7 +181,7 @@
         base_version = self.holder.version
         self._hold(lease, expires_at, now)
         self.exchange.push_changes(base_version, now)
-        self._answer(lease.server, LeaseState.GRANTED, now)
+        self._add_answer(lease.server, LeaseState.GRANTED, now)
 
     def _at_latest_phase(self, lease: Lease, phase: Phase) -> Lease:
         """Return a lease at a phase, or at a later one that its session has reached."""
@@ -295,7 +295,7 @@
                     self._start_retirement(lease, now)
                 in_force = self.pending_retirements.in_force(lease, now)
                 state = LeaseState.IN_FORCE if in_force else LeaseState.NOTED
-                self._answer(event.server, state, now)
+                self._add_answer(event.server, state, now)
             case Result(error=problem):
                 self._refuse(event.server, problem, now)
 
@@ -338,9 +338,9 @@
 
     def _refuse(self, server: ServerId, problem: Problem, now: float) -> None:
         decisions.log("lease-refused", server=server, code=problem.code)
-        self._answer(server, LeaseState.REFUSED, now, problem)
+        self._add_answer(server, LeaseState.REFUSED, now, problem)
 
-    def _answer(
+    def _add_answer(
         self,
         server: ServerId,
         state: LeaseState,
