--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -54,7 +54,7 @@
         self.next_expiry = float("inf")
 
     def hold(self, lease: Lease, expires_at: float) -> bool:
-        """Hold or renew a lease; return whether peers must be told of a change."""
+        """Hold or renew a lease; return whether peers must learn of a change."""
         previous = self.held.get(lease.server)
         changed = previous is None or without_load_report(
             previous.lease
--- a/libs/membership/src/kumquatmux_membership/leases.py
+++ b/libs/membership/src/kumquatmux_membership/leases.py
@@ -286,7 +286,7 @@
         )
 
     def _retire(self, event: Drain | Depart, phase: Phase, now: float) -> None:
-        """Drain or end a session, tell the peers and answer whether it is in force."""
+        """Drain or end a session, notify peers and answer whether it is in force."""
         known_server = self.known_servers.get(event.server)
         match check_retire(event, known_server):
             case Result(tag="ok", ok=lease):
--- a/libs/membership/src/kumquatmux_membership/phases.py
+++ b/libs/membership/src/kumquatmux_membership/phases.py
@@ -37,7 +37,7 @@
 
 
 def with_phase(lease: Lease, phase: Phase) -> Lease:
-    """Return a copy of a lease at another phase of its session."""
+    """Return a copy of a lease with a given phase of its session."""
     return lease._replace(
         draining=phase >= Phase.DRAINING,
         left=phase == Phase.LEFT,
