--- a/libs/membership/src/kumquatmux_membership/admission.py
+++ b/libs/membership/src/kumquatmux_membership/admission.py
@@ -1,4 +1,4 @@
-"""Whether a call of a backend server is taken, and what lease it stands for."""
+"""Checks whether a backend server's call is accepted and which lease it results in."""
 
 from __future__ import annotations
 
@@ -14,88 +14,96 @@
 from kumquatmux_membership.settings import LeaseSettings
 
 
-class Desk(NamedTuple):
-    """What a VM is able to take at the moment.
+class AdmissionState(NamedTuple):
+    """State of a VM that decides which backend server calls it accepts.
 
     Attributes:
-        me: The VM.
-        leaving: Whether it shuts down.
-        informed: Whether it has asked its peers what they hold.
-        full: Whether it holds as many servers as it may.
+        local_vm: This VM.
+        leaving: Whether this VM is shutting down.
+        peers_consulted: Whether every peer has confirmed its leases since this VM
+            started, or ``stale_seconds`` have passed since then.
+        table_full: Whether this VM holds the maximum number of servers.
     """
 
-    me: Vm
+    local_vm: Vm
     leaving: bool
-    informed: bool
-    full: bool
+    peers_consulted: bool
+    table_full: bool
 
 
 def check_announce(
     event: Announce,
-    known: KnownServer | None,
-    desk: Desk,
+    known_server: KnownServer | None,
+    state: AdmissionState,
     settings: LeaseSettings,
     now: float,
 ) -> Result[Lease, Problem]:
     """Return the lease to hold, or why the announcement is refused."""
     lease = event.lease
-    if desk.leaving:
+    if state.leaving:
         return _refuse(lease, "vm-leaving", "this VM shuts down, renew at another one")
-    if lease.zone != desk.me.zone:
-        return _refuse(lease, "wrong-zone", f"this VM serves zone {desk.me.zone}")
+    if lease.zone != state.local_vm.zone:
+        return _refuse(
+            lease, "wrong-zone", f"this VM serves zone {state.local_vm.zone}"
+        )
     if lease.server != str(lease.endpoint):
         return _refuse(lease, "wrong-server", f"its endpoint is {lease.endpoint}")
-    if not desk.informed and known is None:
+    if not state.peers_consulted and known_server is None:
         return _refuse(lease, "vm-starting", "this VM has not heard its peers yet")
-    if desk.full and known is None:
+    if state.table_full and known_server is None:
         return _refuse(lease, "table-full", "this VM holds as many servers as it may")
-    if not _current(event.ticket, desk.me, settings, now):
+    if not _ticket_valid(event.ticket, state.local_vm, settings, now):
         return _refuse(lease, "ticket-needed", "repeat the call with this ticket")
-    if known is None:
+    if known_server is None:
         return Ok(lease)
-    return _check_against(lease, known, settings, now)
+    return _check_conflicts(lease, known_server, settings, now)
 
 
 def check_retire(
-    event: Drain | Depart, known: KnownServer | None
+    event: Drain | Depart, known_server: KnownServer | None
 ) -> Result[Lease, Problem]:
-    """Return the lease that drains or leaves, or why the call is refused."""
-    if known is not None and event.service not in ("", known.lease.service):
-        detail = f"it belongs to service {known.lease.service}"
+    """Return the lease to drain or end, or why the call is refused."""
+    if known_server is not None and event.service not in (
+        "",
+        known_server.lease.service,
+    ):
+        detail = f"it belongs to service {known_server.lease.service}"
         return Error(Problem("address-taken", detail, event.server))
-    if known is None or session_of(known.lease.version) < event.session:
-        return _unseen(event)
-    if event.session and event.session < session_of(known.lease.version):
-        detail = f"its latest session is {session_of(known.lease.version)}"
+    if known_server is None or session_of(known_server.lease.version) < event.session:
+        return _lease_of_unknown_session(event)
+    if event.session and event.session < session_of(known_server.lease.version):
+        detail = f"its latest session is {session_of(known_server.lease.version)}"
         return Error(Problem("session-old", detail, event.server))
-    return Ok(known.lease)
+    return Ok(known_server.lease)
 
 
-def _check_against(
-    lease: Lease, known: KnownServer, settings: LeaseSettings, now: float
+def _check_conflicts(
+    lease: Lease, known_server: KnownServer, settings: LeaseSettings, now: float
 ) -> Result[Lease, Problem]:
     session = session_of(lease.version)
-    latest = session_of(known.lease.version)
-    held_lately = now - known.at < settings.address_hold_seconds
-    if lease.service != known.lease.service and held_lately:
+    latest_session = session_of(known_server.lease.version)
+    recently_held = now - known_server.last_held_at < settings.address_hold_seconds
+    if lease.service != known_server.lease.service and recently_held:
         return _refuse(lease, "address-taken", "another service uses this address")
-    if session < latest:
-        return _refuse(lease, "session-old", f"its latest session is {latest}")
-    if session == latest and phase_of(known.lease.version) == Phase.LEFT:
-        return _refuse(lease, "session-left", f"session {latest} has left for good")
+    if session < latest_session:
+        return _refuse(lease, "session-old", f"its latest session is {latest_session}")
+    if session == latest_session and phase_of(known_server.lease.version) == Phase.LEFT:
+        return _refuse(
+            lease, "session-left", f"session {latest_session} has left for good"
+        )
     return Ok(lease)
 
 
-def _current(
-    ticket: Ticket | None, me: Vm, settings: LeaseSettings, now: float
+def _ticket_valid(
+    ticket: Ticket | None, local_vm: Vm, settings: LeaseSettings, now: float
 ) -> bool:
-    if ticket is None or ticket.incarnation != me.incarnation:
+    if ticket is None or ticket.incarnation != local_vm.incarnation:
         return False
-    return 0 <= now - ticket.stamp <= settings.ticket_seconds
+    return 0 <= now - ticket.stamp <= settings.ticket_lifetime_seconds
 
 
-def _unseen(event: Drain | Depart) -> Result[Lease, Problem]:
-    """Return a lease for a session that this VM has not seen; its zone is empty."""
+def _lease_of_unknown_session(event: Drain | Depart) -> Result[Lease, Problem]:
+    """Return a lease, without a zone, for a session that this VM does not know."""
     if not event.session or not event.service:
         detail = "this VM does not know the server; give its session and service"
         return Error(Problem("server-unknown", detail, event.server))
--- a/libs/membership/src/kumquatmux_membership/probes.py
+++ b/libs/membership/src/kumquatmux_membership/probes.py
@@ -1,4 +1,4 @@
-"""Probes made for other VMs, answered once the target echoes a later stamp."""
+"""Probes that other VMs request, answered once the target echoes a later timestamp."""
 
 from __future__ import annotations
 
@@ -8,53 +8,58 @@
 from kumquatmux_membership.events import ProbeAnswer, ProbeRequest, SendMessage
 from kumquatmux_membership.peer import Peer
 
-PROBE_MEMORY_SECONDS = 2.0
+PROBE_RETENTION_SECONDS = 2.0
 
 
 class Probe(NamedTuple):
-    """One probe asked of us.
+    """A probe that another VM requested from this VM.
 
     Attributes:
-        request: What was asked.
-        stamp: Our stamp that the target has to echo, or a later one.
+        request: The request.
+        timestamp: Timestamp of this VM that the target must echo; a later one also
+            counts.
     """
 
     request: ProbeRequest
-    stamp: float
+    timestamp: float
 
 
-class Probes:
-    """The probes that this VM makes for others.
+class PendingProbes:
+    """The probes that this VM makes for others and has not answered yet.
 
     Args:
-        me: This VM.
+        local_vm_id: Id of this VM.
     """
 
-    def __init__(self, me: VmId) -> None:
-        self.me = me
-        self.waiting: list[Probe] = []
+    def __init__(self, local_vm_id: VmId) -> None:
+        self.local_vm_id = local_vm_id
+        self.pending: list[Probe] = []
 
-    def begin(self, request: ProbeRequest, stamp: float) -> None:
-        """Note that the target was just sent a stamp."""
-        self.waiting.append(Probe(request, stamp))
+    def add(self, request: ProbeRequest, timestamp: float) -> None:
+        """Add a probe for which a heartbeat with this timestamp was just sent."""
+        self.pending.append(Probe(request, timestamp))
 
-    def answer(self, peer: Peer) -> list[SendMessage]:
-        """Return answers to those who asked about a peer that has echoed us."""
-        done = [
+    def take_answers(self, peer: Peer) -> list[SendMessage]:
+        """Remove the probes that a peer's echo completes and return their answers."""
+        answered = [
             probe
-            for probe in self.waiting
-            if probe.request.target == peer.vm.vm and peer.contact >= probe.stamp
+            for probe in self.pending
+            if probe.request.target == peer.vm.vm and peer.last_echo >= probe.timestamp
         ]
-        self.waiting = [probe for probe in self.waiting if probe not in done]
-        return [self._answer(probe.request, peer) for probe in done]
+        self.pending = [probe for probe in self.pending if probe not in answered]
+        return [self._make_answer(probe.request, peer) for probe in answered]
 
-    def forget(self, now: float) -> None:
-        """Drop probes that nobody waits for any more."""
-        self.waiting = [
-            probe for probe in self.waiting if now - probe.stamp < PROBE_MEMORY_SECONDS
+    def prune(self, now: float) -> None:
+        """Remove probes whose requester no longer waits for an answer."""
+        self.pending = [
+            probe
+            for probe in self.pending
+            if now - probe.timestamp < PROBE_RETENTION_SECONDS
         ]
 
-    def _answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
+    def _make_answer(self, request: ProbeRequest, peer: Peer) -> SendMessage:
         incarnation = peer.vm.incarnation
-        answer = ProbeAnswer(self.me, request.target, request.number, incarnation)
+        answer = ProbeAnswer(
+            self.local_vm_id, request.target, request.probe_id, incarnation
+        )
         return SendMessage(request.sender, answer)
--- a/libs/membership/src/kumquatmux_membership/view.py
+++ b/libs/membership/src/kumquatmux_membership/view.py
@@ -1,4 +1,4 @@
-"""The view as last told, and the losses to be told with the next one."""
+"""The last reported view, and the losses to report with the next one."""
 
 from __future__ import annotations
 
@@ -11,52 +11,54 @@
 
 
 class View:
-    """Works out the view again when a peer turned.
+    """Recomputes the view when a peer enters or leaves it.
 
     Attributes:
-        latest: The view as last told.
-        lost: VMs that went ungracefully since then.
-        stale: Whether a peer has turned since then.
+        latest: The view as last reported to the caller.
+        lost: VMs lost without a graceful shutdown since then.
+        dirty: Whether a peer may have entered or left the view since then.
     """
 
     def __init__(self) -> None:
         self.latest: tuple[Vm, ...] = ()
         self.lost: set[VmId] = set()
-        self.stale = False
+        self.dirty = False
 
-    def lose(self, peer: Peer) -> None:
-        """Note that a peer went, unless it had said so before."""
-        self.stale = True
+    def record_loss(self, peer: Peer) -> None:
+        """Record that a peer left the view, as lost unless it announced a shutdown."""
+        self.dirty = True
         if not peer.left:
             self.lost.add(peer.vm.vm)
 
-    def renew(self, me: Vm, peers: Iterable[Peer], *, due: bool) -> ViewChanged | None:
-        """Return the view if it is not what it was.
+    def update(
+        self, local_vm: Vm, peers: Iterable[Peer], *, force: bool
+    ) -> ViewChanged | None:
+        """Return the view if it changed, a VM was lost or a report is forced.
 
         Args:
-            me: This VM.
-            peers: All its peers.
-            due: Whether it is to be told even if it did not change.
+            local_vm: This VM.
+            peers: All peers of this VM.
+            force: Whether to report the view even if it did not change.
         """
-        if not (due or self.stale or self.lost):
+        if not (force or self.dirty or self.lost):
             return None
-        self.stale = False
-        view = tuple(sorted([me, *(peer.vm for peer in peers if peer.live)]))
-        if view == self.latest and not (due or self.lost):
+        self.dirty = False
+        view = tuple(sorted([local_vm, *(peer.vm for peer in peers if peer.in_view)]))
+        if view == self.latest and not (force or self.lost):
             return None
-        self._log(view)
+        self._log_change(view)
         lost = tuple(sorted(self.lost))
         self.latest = view
         self.lost = set()
         return ViewChanged(view, lost)
 
-    def _log(self, view: tuple[Vm, ...]) -> None:
-        before = {vm.vm for vm in self.latest}
-        after = {vm.vm for vm in view}
+    def _log_change(self, view: tuple[Vm, ...]) -> None:
+        previous_ids = {vm.vm for vm in self.latest}
+        current_ids = {vm.vm for vm in view}
         decisions.log(
             "view-changed",
             live=len(view),
-            joined=",".join(sorted(after - before)),
-            gone=",".join(sorted(before - after)),
+            joined=",".join(sorted(current_ids - previous_ids)),
+            gone=",".join(sorted(previous_ids - current_ids)),
             lost=",".join(sorted(self.lost)),
         )
