Reword the texts of packets, selection, directory and routes

Doc comments used private phrases and left out what values mean. They now use the terms of the field; the order of the priority levels is listed as coded.

--- a/libs/tokens/src/kumquatmux_tokens/__init__.py
+++ b/libs/tokens/src/kumquatmux_tokens/__init__.py
@@ -1,3 +1,3 @@
-"""Routing of flows by a token in each packet, free of I/O."""
+"""Sans-I/O routing of flows by the server token in each packet."""
 
 from __future__ import annotations
--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -1,4 +1,4 @@
-"""Which server a new flow goes to."""
+"""Selection of the backend server for a new flow."""
 
 from __future__ import annotations
 
@@ -10,16 +10,19 @@
 from kumquatmux_tokens.load import LoadTable
 
 LAST_RESORT = 2
-"""Grade from which on a server is chosen only where there is no other."""
+"""Lowest priority level at which a server is selected only as a last resort.
+
+Such a server is selected only if every server has this level or a higher one.
+"""
 
 
 class Opening(NamedTuple):
-    """The flow to be placed.
+    """A new flow that needs a server.
 
     Attributes:
-        tried: Tokens that copies of its first packet went to.
-        is_long: Whether it is likely to carry many requests.
-        now: Steady seconds.
+        tried: Tokens of the servers that earlier SYN packets of the flow were sent to.
+        is_long: Whether the flow is likely to carry many requests.
+        now: Current time in monotonic seconds.
     """
 
     tried: tuple[int, ...]
@@ -28,14 +31,15 @@
 
 
 class Choice(NamedTuple):
-    """The server chosen for a flow and what the choice was made from.
+    """The server selected for a flow, with the values that decided the selection.
 
     Attributes:
-        entry: The server.
-        cost: Its load in slots, with what distance and cold start add.
-        candidates: How many servers were open to the choice.
-        grade: 0 where it was sound, more the worse its last resort.
-        is_full: Whether more work waits at every server than finishes in time.
+        entry: The selected server.
+        cost: Load per slot, increased for a server in another zone or in warm-up.
+        candidates: Number of evaluated servers with the same priority level.
+        grade: Priority level; 0 is preferred, higher levels are fallbacks.
+        is_full: Whether the request queue of the selected server is full, so that the
+            flow has to wait.
     """
 
     entry: Entry
@@ -46,14 +50,14 @@
 
 
 class Offer(NamedTuple):
-    """One server as it offers itself to a flow.
+    """A server that is evaluated as a candidate for a new flow.
 
     Attributes:
         entry: The server.
-        grade: As in ``Choice``.
-        is_full: Whether as much work waits there as may.
-        cost: As in ``Choice``.
-        tie: Random, between servers that are equal.
+        grade: Priority level; 0 is preferred, higher levels are fallbacks.
+        is_full: Whether the server's request queue is full.
+        cost: Load per slot, increased for a server in another zone or in warm-up.
+        tie: Random number that decides between otherwise equal candidates.
     """
 
     entry: Entry
@@ -66,19 +70,30 @@
 def choose(
     entries: list[Entry], opening: Opening, load: LoadTable, random: Random
 ) -> Choice | None:
-    """Return the server for a flow, None if no server may take it.
+    """Select the server for a new flow.
+
+    Only servers in phase ``READY`` are eligible. Each gets a priority level:
 
-    Servers that leave or have ended are never chosen. Those that were tried already,
-    left others unanswered, are late with their reports or still new come last, in
-    this order of grades. A short flow goes where the least work is now, a long one
-    where the fewest flows are. Other zones are looked at only where this one's best
-    server costs as much as leaving the zone.
+        0: The server has no known problem.
+        1: It became known less than ``settle_s`` seconds ago.
+        2: Its zone is unreachable, or it left SYN packets unanswered.
+        3: Its reports are overdue.
+        4: A SYN packet of this flow was already sent to it.
+
+    Among servers of equal level, the one with the lowest load per slot is selected.
+    For a flow with many requests, the requests in progress count less, so that the
+    number of open flows counts more. Servers of other zones are evaluated only if
+    the best server of this zone has a level above 0, is full, or costs more than
+    ``remote_cost``.
 
     Args:
         entries: Servers of the service.
         opening: The flow.
-        load: The work known at each server.
-        random: Breaks ties.
+        load: Load on each server.
+        random: Random number generator that breaks ties.
+
+    Returns:
+        The selection, or None if no server is eligible.
     """
     ready = [one for one in entries if one.record.report.phase == Phase.READY]
     if not ready:
--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -1,4 +1,4 @@
-"""The servers that tokens stand for."""
+"""Known backend servers, indexed by token, name and service."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 
 
 class Entry(NamedTuple):
-    """A server lifetime as this VM knows it.
+    """One lifetime of a server, from its start to its end, as known to this VM.
 
     Attributes:
-        record: Its newest record.
-        known_at: When it was first known, in steady seconds.
-        ended_at: When its end was known, None before.
-        warm_at: When it will have warmed up.
+        record: Latest record of the lifetime.
+        known_at: Time when the lifetime became known, in monotonic seconds.
+        ended_at: Time when its end became known, None before that.
+        warm_at: Time when its warm-up ends.
     """
 
     record: ServerRecord
@@ -26,12 +26,13 @@
 
 
 class Directory:
-    """Server lifetimes by token, by name and by service.
+    """Server lifetimes indexed by token, server name and service.
 
     Attributes:
-        by_token: Every lifetime known, ended ones for a while too.
-        by_service: Lifetimes that have not ended, by service.
-        clashing: Tokens that two lifetimes share; no flow is placed on either.
+        by_token: All known lifetimes, including recently ended ones.
+        by_name: Token of the latest lifetime, by server name.
+        by_service: Lifetimes that have not ended, by service and token.
+        clashing: Tokens that two lifetimes share; neither gets new flows.
     """
 
     def __init__(self) -> None:
@@ -41,7 +42,7 @@
         self.clashing: set[int] = set()
 
     def put(self, record: ServerRecord, now: float) -> None:
-        """Take a newer record of a server name."""
+        """Store a server's latest record and end the lifetime that it replaces."""
         lifetime = record.report.lifetime
         token = record.token
         former = self.by_name.get(lifetime.name)
@@ -65,7 +66,7 @@
         return list(self.by_service.get(service, {}).values())
 
     def open_entry(self, token: int) -> Entry | None:
-        """Return a lifetime that may get new flows, None if the token names none."""
+        """Return the lifetime with a token if it accepts new flows, else None."""
         entry = self.by_token.get(token)
         if entry is None or token in self.clashing:
             return None
@@ -73,7 +74,7 @@
         return entry if is_open else None
 
     def forget(self, before: float) -> None:
-        """Drop lifetimes that ended before a time."""
+        """Remove lifetimes that ended before a given time."""
         for token, entry in list(self.by_token.items()):
             if entry.ended_at is not None and entry.ended_at < before:
                 del self.by_token[token]
--- a/libs/tokens/src/kumquatmux_tokens/messages.py
+++ b/libs/tokens/src/kumquatmux_tokens/messages.py
@@ -1,4 +1,4 @@
-"""Messages between the entry VMs of a zone."""
+"""Message types that the entry VMs of a zone exchange."""
 
 from __future__ import annotations
 
@@ -10,4 +10,4 @@
     0x0606: PlaceQuestion,
     0x0607: PlaceAnswer,
 }
-"""Message types by kind, to be merged into the registry of a channel."""
+"""Message types by message kind, for the codec registry of a channel."""
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -1,4 +1,4 @@
-"""What routing sees of a packet and what it decides."""
+"""Packet headers that the token router reads, and the decisions that it returns."""
 
 from __future__ import annotations
 
@@ -10,18 +10,20 @@
 
 
 class Head(NamedTuple):
-    """A caller's packet as routing sees it.
+    """Header fields of a caller's packet that routing needs.
 
     Attributes:
-        flow: 12 bytes that name the flow: the caller's end, then the route's.
-        route: 6 bytes of ``flow`` that name the route: address and port.
-        token: The token that the packet carries.
-        is_opening: Whether it opens a flow.
-        is_closing: Whether the caller's end closes or breaks off.
-        copy: How many copies of an opening packet came before.
-        sequence: Place of its first byte.
-        acknowledged: Place up to which the caller has the answers.
-        length: Bytes of data in it.
+        flow: 12-byte flow key: the caller's IPv4 address and port, then the route's.
+        route: Last 6 bytes of ``flow``: the route's IPv4 address and port.
+        token: Token of the server that the packet belongs to, 0 for none.
+        is_opening: Whether the packet is a SYN, which opens a flow.
+        is_closing: Whether the packet is a FIN or RST.
+        copy: Number of times the caller has sent the same SYN before; 0 for other
+            packets.
+        sequence: Sequence number of the first payload byte.
+        acknowledged: Acknowledgment number, up to which the caller has received the
+            server's data.
+        length: Payload length in bytes.
     """
 
     flow: bytes
@@ -36,43 +38,66 @@
 
 
 class Forward(NamedTuple):
-    """Send the packet to a server, under a token."""
+    """Decision to forward the packet to a server.
+
+    Attributes:
+        server: The server.
+        token: Token of the server, which the forwarded packet carries.
+    """
 
     server: ServerRecord
     token: int
 
 
 class Reset(NamedTuple):
-    """Answer with a reset at this place of the sequence."""
+    """Decision to answer the caller with a reset (RST) packet.
+
+    Attributes:
+        sequence: Sequence number of the reset packet.
+        reason: Reason code for logs and metrics.
+    """
 
     sequence: int
     reason: str
 
 
 class Hold(NamedTuple):
-    """Keep the packet while its token is asked for."""
+    """Decision to buffer the packet while its unknown token is looked up.
+
+    Attributes:
+        token: The unknown token.
+    """
 
     token: int
 
 
 class Wait(NamedTuple):
-    """Keep an opening packet while the caller still waits for its answer.
+    """Decision to buffer a SYN packet until its flow can be placed on a server.
 
     Attributes:
-        reason: What is missing.
+        reason: Reason code for logs and metrics.
     """
 
     reason: str
 
 
 class Drop(NamedTuple):
-    """Do nothing with the packet."""
+    """Decision to discard the packet.
+
+    Attributes:
+        reason: Reason code for logs and metrics.
+    """
 
     reason: str
 
 
 class Ask(NamedTuple):
-    """Keep an opening packet while another VM chooses its server."""
+    """Decision to buffer a SYN packet and ask another VM to select its server.
+
+    Attributes:
+        vm: The VM to ask.
+        question: The message to send to it.
+    """
 
     vm: VmId
     question: PlaceQuestion
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -1,4 +1,4 @@
-"""The routes in force and those that were removed lately."""
+"""Routes in force and recently removed routes."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 
 
 class Share(NamedTuple):
-    """A service and its part of a route's new flows.
+    """A service with its weight on a route.
 
     Attributes:
-        service: The service.
-        weight: Its weight among the route's shares.
+        service: Name of the service.
+        weight: Share of the route's new flows, relative to the other weights.
     """
 
     service: ServiceName
@@ -22,12 +22,12 @@
 
 
 class Route(NamedTuple):
-    """Where new flows to one address and port go.
+    """Assignment of the new flows to one address and port to services.
 
     Attributes:
-        name: Its name.
-        address: 6 bytes: the address and port that callers send to.
-        shares: The services, at least one of them with a weight above 0.
+        name: Name of the route.
+        address: 6 bytes: the IPv4 address and port that callers send to.
+        shares: Weighted services, at least one of them with a weight above 0.
     """
 
     name: str
@@ -35,24 +35,28 @@
     shares: tuple[Share, ...]
 
     def service_for(self, flow: bytes) -> ServiceName:
-        """Return the service of a flow, the same for each copy of its first packet."""
+        """Return the service of a flow, which is the same for every SYN of the flow.
+
+        Raises:
+            AssertionError: No service has a weight above 0.
+        """
         total = sum(share.weight for share in self.shares)
         point = xxhash.xxh3_64_intdigest(flow) % total
         for share in self.shares:
             if point < share.weight:
                 return share.service
             point -= share.weight
-        raise AssertionError(f"route {self.name} has no weight")
+        raise AssertionError(f"route {self.name} has no service with a weight above 0")
 
 
 class RouteSet(NamedTuple):
-    """The content of one document as routing needs it.
+    """The part of a configuration document that routing needs.
 
     Attributes:
-        number: Number of the document, 0 for none.
-        routes: Its routes.
-        services: Names of its services.
-        idle_s: Seconds after which an idle flow may be given up.
+        number: Document number, 0 for no document.
+        routes: The document's routes.
+        services: Names of the document's services.
+        idle_s: Idle time in seconds after which a flow may be dropped.
     """
 
     number: int
@@ -62,12 +66,14 @@
 
 
 class RouteTable:
-    """Routes by address; a lower number never replaces a higher one.
+    """Routes in force, by address.
+
+    A document never replaces one with an equal or higher number.
 
     Attributes:
-        number: Number of the document in force.
-        routes: Its routes by address.
-        removed: When a route that is no longer there was removed.
+        number: Number of the document in force, 0 for none.
+        routes: Routes of that document, by address.
+        removed: Removal times of routes that are no longer in force, by address.
     """
 
     def __init__(self) -> None:
@@ -76,7 +82,7 @@
         self.removed: dict[bytes, float] = {}
 
     def install(self, routes: RouteSet, now: float) -> bool:
-        """Put a document's routes into force; return whether it was newer."""
+        """Install the routes of a newer document; return whether it was newer."""
         if routes.number <= self.number:
             return False
         former = self.routes
@@ -89,6 +95,6 @@
         return True
 
     def is_gone(self, address: bytes, since: float) -> bool:
-        """Return whether a route was removed before a time."""
+        """Return whether a route was removed before a given time."""
         removed = self.removed.get(address)
         return removed is not None and removed < since
