Reword the texts of the router, load, reports, buffers and settings

Doc comments used private phrases such as telling, striking and questions. They now name requests, reservations, reports and timeouts in the usual terms; numbers and reasons stay.

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -80,10 +80,10 @@
         3: Its reports are overdue.
         4: A SYN packet of this flow was already sent to it.
 
-    Among servers of equal level, the one with the lowest load per slot is selected.
-    For a flow with many requests, the requests in progress count less, so that the
-    number of open flows counts more. Servers of other zones are evaluated only if
-    the best server of this zone has a level above 0, is full, or costs more than
+    Among servers of equal level, the one with the lowest load per slot is selected. For
+    a flow with many requests, the requests in progress count less, so that the number
+    of open flows counts more. Servers of other zones are evaluated only if the best
+    server of this zone has a level above 0, is full, or costs more than
     ``remote_cost``.
 
     Args:
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -1,7 +1,8 @@
-"""What callers' packets show of the work at each server.
+"""Load on each server, derived from the packets of callers.
 
-Answers go past this VM. A request counts as work from the opening packet or its data
-on, until the caller acknowledges more than it had when it asked, closes or is silent.
+Servers answer callers directly, so this VM sees no answers. A request counts as in
+progress from its SYN packet or data until the caller acknowledges part of the answer,
+closes the flow or has been silent for too long.
 """
 
 from __future__ import annotations
@@ -20,20 +21,22 @@
 
 
 class Flow:
-    """One flow as this VM has seen it.
+    """State of one flow, derived from the caller's packets.
 
     Attributes:
-        token: The server's token.
-        tried: Tokens that copies of the opening packet went to.
-        is_open: Whether the caller was seen to go on after the opening packet.
-        placed_at: When the latest opening packet was sent on.
-        seen_at: When its latest packet came.
-        busy_since: When the request in progress began, None for none.
-        asked_at: When the latest data came first.
-        repeats: How often that data came again without an answer.
-        asked_ack: What the caller had of the answers when it asked.
-        has_asked: Whether it carried a request before.
-        end: Place after the last byte of the caller's data.
+        token: Token of the flow's server.
+        tried: Tokens of the servers that the flow's SYN packets were sent to.
+        is_open: Whether the caller has sent a packet after its SYN.
+        placed_at: Time when the latest SYN packet was forwarded.
+        seen_at: Time when the latest packet arrived.
+        busy_since: Time of the latest SYN or new data of the request in progress, None
+            if there is no request in progress.
+        asked_at: Time when the latest new data arrived.
+        repeats: Number of retransmissions of that data without an answer.
+        asked_ack: Acknowledgment number when the latest new data or answer was seen; a
+            later one shows that the server has answered.
+        has_asked: Whether the caller has sent a request on the flow.
+        end: Sequence number after the last byte of the caller's data.
     """
 
     __slots__ = (
@@ -65,14 +68,14 @@
 
 
 class Work:
-    """The work at one server that passes this VM.
+    """Load that the flows through this VM put on one server.
 
     Attributes:
         busy: Requests in progress.
         open: Open flows.
-        strikes: Opening packets in a row that it left unanswered.
-        avoided_until: Until when flows go elsewhere if they can.
-        answered_at: When it last showed that it answers.
+        strikes: Consecutive SYN packets that the server left unanswered.
+        avoided_until: Time until which new flows go to other servers if possible.
+        answered_at: Time of the latest evidence that the server answers.
     """
 
     __slots__ = ("answered_at", "avoided_until", "busy", "open", "strikes")
@@ -86,15 +89,17 @@
 
 
 class LoadTable:
-    """Flows and the work that they make.
+    """Flows through this VM and the load on each server.
 
     Attributes:
-        flows: Flows by name.
-        work: Own work by token.
-        zone: Work that passes the other VMs of the zone.
-        silent_zones: Other zones that do not answer, so that their servers are
-            likely out of reach.
-        latencies: How long callers waited for handshakes and first answers.
+        flows: Flows by flow key.
+        work: Load that flows through this VM cause, by token.
+        zone: Load that other VMs of the zone report.
+        openings: Times and flow keys of forwarded SYN packets, oldest first.
+        long: Share of a route's requests that follow another one on their flow.
+        silent_zones: Other zones that do not answer, so that their servers are probably
+            unreachable.
+        latencies: Histograms of the handshake time and the time to the first answer.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
@@ -108,18 +113,18 @@
         self.latencies = Latencies()
 
     def work_at(self, token: int) -> Work:
-        """Return the work at a server."""
+        """Return the load on a server."""
         found = self.work.get(token)
         if found is None:
             found = self.work[token] = Work()
         return found
 
     def is_long(self, route: bytes) -> bool:
-        """Return whether flows of a route mostly carry many requests."""
+        """Return whether the flows of a route are likely to carry many requests."""
         return self.long.get(route, 0.0) > self.settings.long_share
 
     def place(self, head: Head, token: int, now: float) -> Flow:
-        """Count a flow whose opening packet goes to a server."""
+        """Record that a flow's SYN packet goes to a server; return the flow."""
         flow = self.flows.get(head.flow)
         if flow is None or flow.is_open:
             self._remove(head.flow)
@@ -139,7 +144,12 @@
         return flow
 
     def strike(self, flow: Flow, now: float) -> bool:
-        """Hold a copy of an opening packet against the server tried before."""
+        """Record, when a SYN is retransmitted, that its server did not answer.
+
+        Returns:
+            False if the server has answered a caller since the SYN was forwarded, so
+            that nothing is recorded.
+        """
         work = self.work_at(flow.token)
         if work.answered_at > flow.placed_at:
             return False
@@ -149,7 +159,7 @@
         return True
 
     def note(self, head: Head, token: int, now: float) -> None:
-        """Learn from a packet of an open flow."""
+        """Update the load from a packet that is not a SYN."""
         flow = self.flows.get(head.flow)
         if flow is None:
             flow = self.flows[head.flow] = Flow(token, now)
@@ -180,9 +190,10 @@
             flow.repeats += 1
 
     def is_unanswered(self, key: bytes, now: float) -> bool:
-        """Return whether a caller repeats itself to a server that answers nobody here.
+        """Return whether a caller retransmits data and its server answers no caller.
 
-        Long work alone does not look like this: other callers get their answers.
+        Only callers whose packets pass this VM are considered. A request that merely
+        takes long does not match, as other callers get answers.
         """
         flow = self.flows.get(key)
         if flow is None or flow.repeats < self.settings.silent_repeats:
@@ -191,20 +202,23 @@
         return is_long and self.work_at(flow.token).answered_at <= flow.asked_at
 
     def is_struck(self, token: int) -> bool:
-        """Return whether a server left an opening packet unanswered, here or near."""
+        """Return whether a server left a SYN packet unanswered.
+
+        Reports of the other VMs of the zone count too.
+        """
         if self.work_at(token).strikes:
             return True
         total = self.zone.totals.get(token)
         return total is not None and total.avoided > 0
 
     def drop(self, key: bytes) -> None:
-        """Count a flow no longer."""
+        """Remove a flow and its load."""
         self._remove(key)
 
     def expire_openings(self, now: float) -> None:
-        """Count a placed flow as work no longer if its caller did not go on here.
+        """Stop counting the request of a SYN packet if its caller sent nothing more.
 
-        The caller has given up, took another server, or its packets pass another VM.
+        The caller has given up, uses another server, or its packets pass another VM.
         """
         limit = now - self.settings.opening_s
         while self.openings and self.openings[0][0] < limit:
@@ -214,7 +228,7 @@
                 self._set_idle(flow)
 
     def sweep(self, now: float) -> None:
-        """Stop counting what has been silent for long."""
+        """Remove flows, requests and servers that have been idle for too long."""
         self.zone.sweep(now)
         idle = now - self.settings.flow_idle_s
         busy = now - self.settings.busy_s
@@ -229,7 +243,7 @@
                 del self.work[token]
 
     def told(self, now: float) -> list[SharedWork]:
-        """Return the work that other VMs of the zone may be told."""
+        """Return the load to report to the other VMs of the zone."""
         self.expire_openings(now)
         return [
             SharedWork(token, one.busy, one.open, one.avoided_until > now)
@@ -238,7 +252,10 @@
         ]
 
     def _open(self, flow: Flow, token: int, head: Head, now: float) -> None:
-        """The caller goes on with a server, not always the one tried last."""
+        """Mark a flow as open at the server that the caller continues with.
+
+        This is not always the server that the latest SYN packet was sent to.
+        """
         flow.is_open = True
         flow.asked_ack = head.acknowledged
         flow.end = head.sequence
@@ -254,7 +271,7 @@
             self._note_handshake(flow, now)
 
     def _note_handshake(self, flow: Flow, now: float) -> None:
-        """The server answered the opening packet that this VM had sent on."""
+        """Record that the server answered the SYN packet that this VM forwarded."""
         self.latencies.record("handshake", now - flow.placed_at)
         work = self.work_at(flow.token)
         work.strikes = 0
@@ -262,7 +279,7 @@
         work.answered_at = now
 
     def _count_request(self, flow: Flow, head: Head) -> None:
-        """Learn whether a route's requests follow others on their flow."""
+        """Update a route's share of requests that follow another on their flow."""
         if flow.busy_since is not None and flow.has_asked:
             return
         share = self.long.get(head.route, 0.0)
@@ -288,5 +305,5 @@
 
 
 def _is_after(place: int, other: int) -> bool:
-    """Return whether a place of a sequence comes after another, around the end."""
+    """Return whether a sequence number comes after another, allowing for wraparound."""
     return 0 < (place - other) % SEQUENCE_SPACE < HALF_SPACE
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -1,7 +1,7 @@
-"""Which entry VM of a zone places the flows of a service, and how it is asked.
+"""Selection of the VM that places the flows of a service: its placement coordinator.
 
-One VM that sees every opening of a service in its zone knows the work at each server
-as it is, where VMs that tell each other what they see choose by old numbers.
+One VM that sees every SYN packet of a service in its zone knows the current load on
+each server. If each VM placed flows itself, it would use outdated load reports.
 """
 
 from __future__ import annotations
@@ -16,14 +16,14 @@
 
 
 class PlaceQuestion(NamedTuple):
-    """Ask for a server for a new flow.
+    """Placement request: asks another VM to select the server for a new flow.
 
     Attributes:
-        sender: Who asks.
-        flow: 12 bytes that name the flow.
-        service: The service of its route.
-        tried: Tokens that copies of its opening packet went to.
-        is_long: Whether it is likely to carry many requests.
+        sender: The requesting VM.
+        flow: 12-byte flow key.
+        service: Service that the flow's route selects.
+        tried: Tokens of the servers that earlier SYN packets of the flow were sent to.
+        is_long: Whether the flow is likely to carry many requests.
     """
 
     sender: VmId
@@ -34,14 +34,15 @@
 
 
 class PlaceAnswer(NamedTuple):
-    """The server for a new flow.
+    """Answer to a placement request: the server selected for a new flow.
 
     Attributes:
-        sender: Who answers.
-        flow: The flow.
-        token: The server's token, 0 if none may take it.
-        is_full: Whether more work waits at every server than finishes in time.
-        grant: Number of the grant, 0 if nothing was granted.
+        sender: The answering VM.
+        flow: Flow key from the request.
+        token: Token of the selected server, 0 if no server can take the flow.
+        is_full: Whether the request queue of the selected server is full, so that the
+            flow has to wait.
+        grant: Number of the reservation for the flow, 0 for none.
     """
 
     sender: VmId
@@ -52,11 +53,11 @@
 
 
 class Silence:
-    """A VM that left questions unanswered.
+    """Backoff from a VM that left placement requests unanswered.
 
     Attributes:
-        until: When it is asked again, in steady seconds.
-        span: Seconds for which it was last left alone.
+        until: Time when the VM may be asked again, in monotonic seconds.
+        span: Duration of the latest backoff in seconds.
     """
 
     def __init__(self) -> None:
@@ -65,11 +66,11 @@
 
 
 class Asked(NamedTuple):
-    """A question that is open.
+    """A placement request that is not answered yet.
 
     Attributes:
-        vm: Who was asked.
-        at: When, in steady seconds.
+        vm: The VM that was asked.
+        at: Time when the request was sent, in monotonic seconds.
     """
 
     vm: VmId
@@ -77,11 +78,13 @@
 
 
 class Placers:
-    """Chooses whom to ask for a service's flows.
+    """Selects placement coordinators and tracks requests to them.
 
     Attributes:
-        peers: Entry VMs of the zone, this one included.
-        asked: Open questions by flow.
+        peers: Entry VMs of the zone, including this one.
+        ranks: Entry VMs in order of preference, by service.
+        silent: Backoff from each VM that left placement requests unanswered.
+        asked: Unanswered placement requests by flow key.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
@@ -92,13 +95,16 @@
         self.asked: dict[bytes, Asked] = {}
 
     def set_peers(self, peers: tuple[VmId, ...]) -> None:
-        """Take the entry VMs of the zone."""
+        """Set the entry VMs of the zone."""
         if peers != self.peers:
             self.peers = peers
             self.ranks.clear()
 
     def placer(self, service: ServiceName, now: float) -> VmId:
-        """Return the VM that places a service's flows, this one if no other does."""
+        """Return the placement coordinator of a service.
+
+        A VM that recently left a request unanswered is skipped; this VM never is.
+        """
         me = self.settings.vm
         for vm in self._rank(service):
             silence = self.silent.get(vm)
@@ -107,11 +113,15 @@
         return me
 
     def ask(self, vm: VmId, flow: bytes, now: float) -> None:
-        """Note a question."""
+        """Record that a placement request was sent."""
         self.asked[flow] = Asked(vm, now)
 
     def is_open(self, flow: bytes, now: float) -> bool:
-        """Return whether an answer may still come; note a VM that gave none."""
+        """Return whether an answer to a flow's placement request may still come.
+
+        A request that has timed out is removed, and the VM that was asked is avoided
+        for a while.
+        """
         asked = self.asked.get(flow)
         if asked is None:
             return False
@@ -122,14 +132,14 @@
         return False
 
     def answered(self, vm: VmId, flow: bytes) -> None:
-        """Note an answer."""
+        """Record an answer to a placement request and end the VM's backoff."""
         self.silent.pop(vm, None)
         asked = self.asked.get(flow)
         if asked is not None and asked.vm == vm:
             del self.asked[flow]
 
     def sweep(self, now: float) -> None:
-        """Drop questions about flows that nobody asks about any more."""
+        """Remove placement requests that have timed out."""
         for flow in list(self.asked):
             self.is_open(flow, now)
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -1,4 +1,4 @@
-"""Token routing on one entry VM: a packet and the time in, a decision out."""
+"""Router of one entry VM: decides what to do with each packet that callers send."""
 
 from __future__ import annotations
 
@@ -31,16 +31,19 @@
 
 
 class TokenRouter:
-    """Routes a caller's packets by the token that both ends return.
+    """Routes callers' packets by the server token that both ends echo.
 
     Attributes:
-        directory: The servers that tokens stand for.
-        routes: The routes in force.
-        load: The work known at each server.
-        held: Packets whose token is being asked for.
-        waiting: Opening packets that no server could take yet.
-        placers: The VMs of the zone that choose servers.
-        tellings: What other VMs were told of the work seen here.
+        directory: Known servers by token.
+        routes: Routes in force.
+        load: Load on each server.
+        held: Packets that are buffered while their token is looked up.
+        waiting: SYN packets that are buffered until a server can take their flow.
+        placers: Selects the VM that places the flows of each service.
+        tellings: State of the load reports to each other VM, by receiver.
+        shares: Number of load reports sent.
+        served_at: Time when each service last had a server for a flow.
+        full_at: Time when another VM last answered that a service's servers are full.
     """
 
     def __init__(self, settings: TokenSettings, random: Random, now: float) -> None:
@@ -59,22 +62,22 @@
         self.full_at: dict[ServiceName, float] = {}
 
     def handle(self, head: Head, now: float) -> Decision:
-        """Return what is to be done with a packet."""
+        """Return the decision for a packet."""
         if head.is_opening:
             return self._place(head, now)
         return self._follow(head, now)
 
     def install(self, routes: RouteSet, now: float) -> bool:
-        """Put a document's routes into force; return whether it was newer."""
+        """Install the routes of a newer document; return whether it was newer."""
         return self.routes.install(routes, now)
 
     def learn(self, record: ServerRecord, now: float) -> list[Held]:
-        """Take a server's record; return the packets that waited for it."""
+        """Store a server's record; return the packets buffered for its token."""
         self.directory.put(record, now)
         return self.held.release(record.token)
 
     def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
-        """Choose a server for a flow that opens at another VM of the zone."""
+        """Select a server for a flow whose SYN packet arrived at another VM."""
         opening = Opening(question.tried, question.is_long, now)
         choice = self._choose(question.service, opening)
         me = self.settings.vm
@@ -87,7 +90,12 @@
         return PlaceAnswer(me, question.flow, token, False, granted.number)
 
     def take_answer(self, answer: PlaceAnswer, now: float) -> Held | None:
-        """Take a choice; return the opening packet that may go on, if there is one."""
+        """Process the answer to a placement request.
+
+        Returns:
+            The buffered SYN packet to forward now, None if there is none or every
+            server is full.
+        """
         self.placers.answered(answer.sender, answer.flow)
         held = self.waiting.by_flow.get(answer.flow)
         if held is None:
@@ -100,7 +108,10 @@
         return held
 
     def place_as(self, head: Head, answer: PlaceAnswer, now: float) -> Decision:
-        """Send an opening packet to the server chosen for it, if that may take it."""
+        """Return the decision for a SYN packet whose server another VM selected.
+
+        If that server is unknown here or accepts no new flows, this VM selects one.
+        """
         route = self.routes.routes.get(head.route)
         if route is None:
             return self._without_route(head)
@@ -115,7 +126,7 @@
         return Forward(entry.record, answer.token)
 
     def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
-        """Return what other VMs of the zone are to be told of the work seen here."""
+        """Return the load reports that are due, each with its receiver."""
         groups = self._work_by_vm(now)
         told = []
         for vm in groups.keys() | self.tellings.keys():
@@ -135,7 +146,7 @@
         return told
 
     def sweep(self, now: float) -> None:
-        """Drop what has waited or been silent too long."""
+        """Remove expired flows, servers, buffered packets and placement requests."""
         self.load.sweep(now)
         self.directory.forget(now - 2 * self.settings.flow_idle_s - 90.0)
         self.held.sweep(now)
@@ -194,10 +205,10 @@
         return Forward(choice.entry.record, token)
 
     def _is_full(self, service: ServiceName, now: float) -> bool:
-        """Return whether another VM said a moment ago that all servers are full.
+        """Return whether to send no placement request because all servers were full.
 
-        Else it would be asked for each opening that waits at each tick, and do little
-        but refuse.
+        Without this limit, every waiting SYN packet would be sent as a placement
+        request at every tick, and the other VM would do little but refuse them.
         """
         full_s = now - self.full_at.get(service, -math.inf)
         if full_s < self.settings.full_s:
@@ -216,7 +227,11 @@
         return self.tellings.setdefault(vm, Telling())
 
     def _work_by_vm(self, now: float) -> dict[VmId, list[SharedWork]]:
-        """Return the work of which each other VM is to know."""
+        """Return the load to report to each other VM.
+
+        In a zone with more than ``tell_all`` entry VMs, the load on a server is
+        reported only to the VM that places the flows of its service.
+        """
         work = self.load.told(now)
         others = [vm for vm in self.placers.peers if vm != self.settings.vm]
         if len(others) < self.settings.tell_all:
@@ -251,10 +266,11 @@
         return Forward(entry.record, token)
 
     def _is_lost(self, head: Head, record: ServerRecord, now: float) -> bool:
-        """Return whether a flow's server is gone, by two kinds of evidence.
+        """Return whether a flow's server is gone, judged by two kinds of evidence.
 
-        Its caller repeats itself while the server answers nobody here, and besides
-        its reports stopped, its zone is silent or opening packets go unanswered.
+        The caller retransmits while the server answers no caller of this VM. In
+        addition, the server's reports are overdue, its zone is unreachable, or SYN
+        packets to it went unanswered.
         """
         if not head.length or not self.load.is_unanswered(head.flow, now):
             return False
@@ -267,7 +283,12 @@
         return Reset(ANY_SEQUENCE, "no-route")
 
     def _without_server(self, head: Head, service: ServiceName, now: float) -> Decision:
-        """Refuse at once unless a server is likely to come while the caller waits."""
+        """Return the decision for a SYN packet of a service without servers.
+
+        The packet waits if a server is likely to come while the caller waits, that is,
+        if the service had one, or this VM started, at most ``known_s`` seconds ago.
+        Otherwise the flow is refused at once.
+        """
         latest = self.served_at.get(service, self.started_at)
         if latest > now - self.settings.known_s:
             return Wait("no-server-yet")
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -8,67 +8,72 @@
 
 
 class TokenSettings(NamedTuple):
-    """How one entry VM routes by tokens.
+    """Settings of the token router of one entry VM.
 
     Attributes:
         vm: This VM.
-        zone: Its availability zone.
-        flow_idle_s: Seconds without a packet after which a flow is not counted.
-        busy_s: Seconds after which a request that shows no answer is not counted
-            as work any more.
-        opening_s: Seconds in which a caller goes on after its opening packet was
-            sent on; then its flow counts as work no more.
-        shared_for_s: Seconds for which another VM's counts are used; longer than the
-            time after which it tells all again.
-        share_all_s: Seconds after which all counts are told again, as messages may
-            get lost.
-        reordered_shares: Messages by which one may be overtaken; a larger step back
-            in numbers is a new process.
-        tell_all: Entry VMs of a zone up to which all are told all; beyond it only
-            those that place a service's flows.
-        answer_s: Seconds after which a VM that was asked for a server is not waited
-            for, well above the time between two VMs of a zone.
-        silent_placer_s: Seconds for which a VM that gave no answer is not asked;
-            doubles with each further time.
-        silent_placer_max_s: Longest time for which it is not asked.
-        full_s: Seconds for which a service whose servers are all full is not tried.
-        cautious_s: Seconds after that in which few openings are tried at once.
-        cautious_asked: Questions that may be open meanwhile.
-        grant_s: Seconds for which a flow placed for another VM counts if that VM
-            does not tell of it.
-        settle_s: Seconds a new server is known before flows are placed on it, so
-            that the zone's other VMs know its token too.
-        ended_s: Seconds for which packets still go to a server that has said that
-            it ends, before its flows are reset.
-        route_gone_s: Seconds after which open flows of a removed route are reset;
-            by then every VM runs the document that removed it.
-        remote_cost: Slots' worth of work that is borne before a flow leaves its zone.
-        open_cost: Slots' worth of work that an open, idle flow stands for.
-        queue_depth: Requests that may wait at a server beyond its slots before new
-            flows are kept back here; as many as are done well within an answer's
-            target.
-        cold_cost: Factor on the load of a server that warms up.
-        strike_s: Seconds for which a server that left an opening packet unanswered
-            is avoided; doubles with each further one.
-        strike_max_s: Longest time for which it is avoided.
-        copy_gap_s: Seconds between an opening packet and its copy below which the
-            copy says nothing about the server, since this VM was late itself.
-        silent_repeats: Times a caller repeats the same data before its flow may be
-            taken to be lost.
-        silent_s: Seconds over which it does so, by this VM's clock, so that packets
-            which queued up while the VM stood still say nothing.
-        hold_s: Seconds a packet with an unknown token is held: as long as an entry VM
-            that has just started may wait for a control VM that starts too.
-        held_packets: Packets held at most.
-        known_s: Seconds for which a service without any server is expected to get
-            one; its opening packets wait meanwhile.
-        patience_s: Seconds a caller waits for the answer to an opening packet.
-        copy_after_s: Seconds after the opening packet at which its copies come.
-        waiting_openings: Opening packets that wait at most.
-        long_share: Share of a route's requests that follow another one on their
-            flow, above which its flows count as long ones.
-        share_step: Weight of one request in that share.
-        long_busy_cost: Weight of the work of the moment where a long flow is placed.
+        zone: Availability zone of this VM.
+        flow_idle_s: Seconds without a packet after which a flow is removed.
+        busy_s: Seconds without a sign of an answer after which a request no longer
+            counts as in progress.
+        opening_s: Seconds after its SYN packet was forwarded within which the caller
+            must send another packet; otherwise its flow no longer counts as a request.
+        shared_for_s: Seconds after which the load reported by a silent VM is discarded;
+            longer than the interval between complete reports.
+        share_all_s: Seconds between complete load reports, which make up for lost ones.
+        reordered_shares: Report numbers by which an overtaken report may be behind; a
+            larger step back means that the sender has restarted.
+        tell_all: Largest number of entry VMs in a zone at which each reports its whole
+            load to all others; in a larger zone only placement coordinators get
+            reports.
+        answer_s: Seconds after which a placement request times out; far more than the
+            delay between two VMs of a zone.
+        silent_placer_s: Seconds for which a VM is not asked after a timeout; doubles
+            with each further timeout.
+        silent_placer_max_s: Upper limit of that time in seconds.
+        full_s: Seconds for which no placement request is sent after an answer that all
+            servers of the service are full.
+        cautious_s: Seconds after such an answer during which the number of unanswered
+            placement requests is limited.
+        cautious_asked: Limit of unanswered placement requests during that time.
+        grant_s: Seconds after which a reservation expires if the other VM does not
+            report the flow.
+        settle_s: Seconds after a server becomes known during which others are preferred
+            for new flows, so that the zone's other VMs learn its token too.
+        ended_s: Seconds for which packets are still forwarded to a server after its
+            lifetime has ended; after that its flows are reset.
+        route_gone_s: Seconds after which open flows of a removed route are reset; by
+            then every VM has installed the document that removed it.
+        remote_cost: Load per slot up to which new flows stay in their own zone; also
+            added to the cost of servers in other zones.
+        open_cost: Cost of an open flow without a request, relative to a request.
+        queue_depth: Requests that may queue at a server beyond its slots before new
+            flows wait here; as many as finish well within the target time of an answer.
+        cold_cost: Factor on the cost of a server in warm-up.
+        strike_s: Seconds for which a server is avoided after it left a SYN packet
+            unanswered; doubles with each further one.
+        strike_max_s: Upper limit of that time in seconds.
+        copy_gap_s: Seconds between a SYN packet and its retransmission below which the
+            retransmission is no evidence against the server, as this VM was late
+            itself.
+        silent_repeats: Retransmissions of the same data from which a flow may be lost.
+        silent_s: Seconds since the first transmission of that data from which a flow
+            may be lost. Without it, retransmissions that queued up while this VM was
+            paused would count as evidence.
+        hold_s: Seconds for which a packet with an unknown token is buffered; as long as
+            a newly started entry VM may wait for a control VM that is starting too.
+        held_packets: Limit of buffered packets with an unknown token.
+        known_s: Seconds for which SYN packets of a service without servers may wait for
+            one, counted from when it last had one or from the start of this VM.
+        patience_s: Seconds that a caller waits for the answer to its SYN packet.
+        copy_after_s: Seconds between the first SYN packet and each of its
+            transmissions.
+        waiting_openings: Limit of buffered SYN packets.
+        long_share: Share of a route's requests that follow another one on their flow
+            above which new flows of the route are expected to carry many requests.
+        share_step: Weight of one request in the moving average of that share.
+        long_busy_cost: Cost of a request in progress when the new flow is expected to
+            carry many requests; the cost is 1 for other flows.
     """
 
     vm: VmId
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -1,4 +1,4 @@
-"""Packets that wait: for their token to be known, or for a server to open a flow at."""
+"""Buffers of packets with an unknown token and of SYN packets without a server."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 
 
 class Held(NamedTuple):
-    """A packet that waits.
+    """A buffered packet.
 
     Attributes:
-        head: The packet.
+        head: Its header fields.
         data: Its bytes.
-        until: When it is dropped, in steady seconds.
+        until: Time when it is dropped, in monotonic seconds.
     """
 
     head: Head
@@ -24,10 +24,11 @@
 
 
 class HeldTokens:
-    """Packets whose token is being asked for.
+    """Packets that are buffered while their token is looked up.
 
     Attributes:
-        count: How many wait.
+        by_token: The packets by token.
+        count: Total number of packets.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
@@ -36,7 +37,10 @@
         self.count = 0
 
     def put(self, head: Head, data: bytes, now: float) -> bool:
-        """Keep a packet for a while; return whether its token is to be asked for."""
+        """Buffer a packet if there is room; return whether to look up its token.
+
+        The token is looked up only for the first packet that carries it.
+        """
         if self.count >= self.settings.held_packets:
             return False
         waiting = self.by_token.setdefault(head.token, [])
@@ -45,13 +49,13 @@
         return len(waiting) == 1
 
     def release(self, token: int) -> list[Held]:
-        """Return the packets that waited for a token that is known now."""
+        """Remove and return the packets that carry a token."""
         released = self.by_token.pop(token, [])
         self.count -= len(released)
         return released
 
     def sweep(self, now: float) -> None:
-        """Drop what has waited too long."""
+        """Drop packets that have been buffered for too long."""
         for token, waiting in list(self.by_token.items()):
             kept = [one for one in waiting if one.until > now]
             self.count -= len(waiting) - len(kept)
@@ -63,14 +67,22 @@
 
 
 class WaitingOpenings:
-    """Opening packets without a server, one a flow, while their callers wait."""
+    """SYN packets that wait for a server, at most one for each flow.
+
+    Attributes:
+        by_flow: The packets by flow key.
+    """
 
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
         self.by_flow: dict[bytes, Held] = {}
 
     def put(self, head: Head, data: bytes, now: float) -> bool:
-        """Keep an opening packet; return whether there was room."""
+        """Buffer a SYN packet; return whether there was room.
+
+        A retransmission replaces the SYN packet buffered for its flow and keeps its
+        deadline.
+        """
         settings = self.settings
         known = self.by_flow.get(head.flow)
         if known is None and len(self.by_flow) >= settings.waiting_openings:
@@ -82,7 +94,7 @@
         return True
 
     def due(self, now: float) -> list[Held]:
-        """Return the packets whose callers still wait; forget the others."""
+        """Drop packets whose callers no longer wait; return the other packets."""
         for flow, held in list(self.by_flow.items()):
             if held.until <= now:
                 log_decision("opening-given-up", flow=flow.hex())
@@ -90,5 +102,5 @@
         return list(self.by_flow.values())
 
     def remove(self, flow: bytes) -> None:
-        """Hold the opening packet of a flow no longer."""
+        """Remove the SYN packet of a flow."""
         self.by_flow.pop(flow, None)
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -1,4 +1,4 @@
-"""Work at servers as the entry VMs of a zone tell it to those that place flows."""
+"""Reports of server load from entry VMs to the VMs of the zone that place flows."""
 
 from __future__ import annotations
 
@@ -10,13 +10,14 @@
 
 
 class SharedWork(NamedTuple):
-    """One server's work as one VM sees it.
+    """Load on one server as seen by one entry VM.
 
     Attributes:
-        token: The server's token.
+        token: Token of the server.
         busy: Requests in progress.
         open: Open flows.
-        is_avoided: Whether it left opening packets unanswered.
+        is_avoided: Whether the VM avoids the server because it left SYN packets
+            unanswered.
     """
 
     token: int
@@ -26,14 +27,16 @@
 
 
 class LoadShare(NamedTuple):
-    """What one VM tells another that places flows.
+    """Load report from one entry VM to another.
 
     Attributes:
-        sender: Who tells.
-        number: Grows with each message of a process.
-        is_whole: Whether servers that are not named have no work at the sender.
-        grant: Latest grant of the receiver that the work holds already, 0 for none.
-        work: The servers whose work changed.
+        sender: The reporting VM.
+        number: Report number, which increases with each report of a process.
+        is_whole: Whether the report is complete, so that servers not listed in it have
+            no load at the sender.
+        grant: Number of the receiver's latest reservation that ``work`` already
+            includes, 0 for none.
+        work: Load on each server whose load changed, or on all if ``is_whole``.
     """
 
     sender: VmId
@@ -44,12 +47,12 @@
 
 
 class Total:
-    """Work at one server, summed over the other VMs of the zone.
+    """Load on one server, summed over the other VMs of the zone.
 
     Attributes:
-        busy: Requests in progress, granted flows included.
-        open: Open flows, granted ones included.
-        avoided: How many VMs avoid it.
+        busy: Requests in progress, including reservations.
+        open: Open flows, including reservations.
+        avoided: Number of VMs that avoid the server.
     """
 
     __slots__ = ("avoided", "busy", "open")
@@ -61,12 +64,14 @@
 
 
 class Grant(NamedTuple):
-    """A flow that this VM placed for another one.
+    """Reservation for a flow that this VM placed on behalf of another VM.
+
+    It counts as load until the other VM's reports include the flow.
 
     Attributes:
-        number: Place among the grants of this process.
-        token: The server's token.
-        until: When it counts no longer even if the other VM says nothing.
+        number: Reservation number, which increases within a process.
+        token: Token of the server.
+        until: Time when the reservation expires, in monotonic seconds.
     """
 
     number: int
@@ -75,13 +80,13 @@
 
 
 class Teller:
-    """What another VM told last.
+    """State of the load reports from one other VM.
 
     Attributes:
-        heard_at: When, in steady seconds.
-        number: Number of its latest message.
-        work: Its work by token.
-        grants: Flows placed for it that its work does not hold yet.
+        heard_at: Time of the latest report, in monotonic seconds.
+        number: Number of the latest report.
+        work: Reported load by token.
+        grants: Reservations for the VM that its reports do not include yet.
     """
 
     def __init__(self) -> None:
@@ -92,12 +97,12 @@
 
 
 class ZoneWork:
-    """Work at servers that passes other VMs of the zone.
+    """Load on servers that the other VMs of the zone report.
 
     Attributes:
         totals: Sums by token.
-        tellers: What they are made of.
-        granted: Grants so far.
+        tellers: State of the reports from each VM.
+        granted: Number of reservations made.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
@@ -107,7 +112,11 @@
         self.granted = 0
 
     def take(self, share: LoadShare, now: float) -> None:
-        """Take what another VM tells."""
+        """Apply a load report from another VM.
+
+        A report that a newer one overtook is ignored. A report number that is lower by
+        ``reordered_shares`` or more comes from a restarted process and is accepted.
+        """
         teller = self._teller(share.sender, now)
         is_old = 0 < teller.number - share.number < self.settings.reordered_shares
         if is_old:
@@ -123,7 +132,7 @@
         self._settle(teller, share.grant, now)
 
     def grant(self, vm: VmId, token: int, now: float) -> Grant:
-        """Count a flow that another VM is about to open at a server."""
+        """Reserve capacity for a flow that another VM is about to open."""
         self.granted += 1
         until = now + self.settings.grant_s
         granted = Grant(self.granted, token, until)
@@ -132,7 +141,7 @@
         return granted
 
     def sweep(self, now: float) -> None:
-        """Forget VMs that fell silent and grants that came to nothing."""
+        """Remove VMs that stopped reporting, and expired reservations."""
         limit = now - self.settings.shared_for_s
         for vm, teller in list(self.tellers.items()):
             self._settle(teller, 0, now)
@@ -177,13 +186,13 @@
 
 
 class Telling:
-    """What one VM that places flows was told last.
+    """State of the load reports to one other VM.
 
     Attributes:
-        work: The work told, by token.
-        grant: Its latest grant that was used here.
-        told_grant: The grant told last.
-        whole_at: When it was told all, in steady seconds.
+        work: Load last reported, by token.
+        grant: Number of the receiver's latest reservation that was used here.
+        told_grant: Reservation number in the latest report.
+        whole_at: Time of the latest complete report, in monotonic seconds.
     """
 
     def __init__(self) -> None:
@@ -200,14 +209,14 @@
         now: float,
         every: float,
     ) -> LoadShare | None:
-        """Return what is to be told now, None for nothing.
+        """Return the load report to send now, None if there is nothing to report.
 
         Args:
             me: This VM.
-            number: Number of the message.
-            work: All the work that concerns the other VM.
-            now: Steady seconds.
-            every: Seconds after which all is told again, as messages may get lost.
+            number: Number of the report.
+            work: Current load on all servers that concern the receiver.
+            now: Current time in monotonic seconds.
+            every: Seconds between complete reports, which make up for lost ones.
         """
         current = {one.token: one for one in work}
         is_whole = now - self.whole_at >= every
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -24,7 +24,7 @@
 
 
 def chosen(records, busy=(), opening=SHORT, known_at=0.0, open_flows=(), shared=None):
-    """Return the name of the server chosen, given work by name."""
+    """Return the name of the selected server, given requests and flows by name."""
     directory = Directory()
     load = LoadTable(TokenSettings("e1", "a"))
     for record in records:
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -17,7 +17,7 @@
 
 
 def others_service(placers):
-    """Return a service that another VM places."""
+    """Return a service whose placement coordinator is another VM."""
     names = (f"service-{number}" for number in range(99))
     return next(name for name in names if placers.placer(name, 0.0) != "e1")
 
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -209,7 +209,7 @@
 
 
 def repeated(made, token, times=3, gap_s=0.3):
-    """Send the same data again and again; return the last decision."""
+    """Send the same data several times; return the last decision."""
     for count in range(times):
         decision = made.handle(data(token), SETTLED + count * gap_s)
     return decision
@@ -314,14 +314,14 @@
 
 
 def asking_router(*servers):
-    """Return a router at a VM that does not place ``entries``, and who does."""
+    """Return a router and the other VM that places the flows of ``entries``."""
     made = router(*servers)
     for peers in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
         made.placers.set_peers(peers)
         placer = made.placers.placer("entries", 0.0)
         if placer != "e1":
             return made, placer
-    raise AssertionError("no other VM places")
+    raise AssertionError("this VM is the placement coordinator in every zone")
 
 
 def test_another_vm_is_asked_for_the_server_of_a_flow():
