--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -9,7 +9,7 @@
 from kumquatmux_tokens.directory import Entry
 from kumquatmux_tokens.load import LoadTable
 
-LAST_RESORT = 2
+LAST_RESORT_LEVEL = 2
 """Lowest priority level at which a server is selected only as a last resort.
 
 Such a server is selected only if every server has this level or a higher one.
@@ -117,7 +117,7 @@
 
 
 def _order(offer: Offer) -> tuple[bool, bool, int, float, float]:
-    is_last_resort = offer.grade >= LAST_RESORT
+    is_last_resort = offer.grade >= LAST_RESORT_LEVEL
     return (is_last_resort, offer.is_full, offer.grade, offer.cost, offer.tie)
 
 
@@ -129,11 +129,11 @@
     if entry.record.is_late:
         return 3
     if entry.record.report.zone in load.silent_zones:
-        return LAST_RESORT
+        return LAST_RESORT_LEVEL
     total = load.zone.totals.get(token)
     is_avoided = work is not None and work.avoided_until > opening.now
     if is_avoided or (total is not None and total.avoided > 0):
-        return LAST_RESORT
+        return LAST_RESORT_LEVEL
     if entry.known_at > opening.now - load.settings.settle_s:
         return 1
     return 0
