--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -16,7 +16,7 @@
 """
 
 
-class Opening(NamedTuple):
+class NewFlow(NamedTuple):
     """A new flow that needs a server.
 
     Attributes:
@@ -68,7 +68,7 @@
 
 
 def choose(
-    entries: list[Entry], opening: Opening, load: LoadTable, random: Random
+    entries: list[Entry], opening: NewFlow, load: LoadTable, random: Random
 ) -> Choice | None:
     """Select the server for a new flow.
 
@@ -121,7 +121,7 @@
     return (is_last_resort, offer.is_full, offer.grade, offer.cost, offer.tie)
 
 
-def _grade(entry: Entry, opening: Opening, load: LoadTable) -> int:
+def _grade(entry: Entry, opening: NewFlow, load: LoadTable) -> int:
     token = entry.record.token
     work = load.work.get(token)
     if token in opening.tried:
@@ -139,7 +139,7 @@
     return 0
 
 
-def _offer(entry: Entry, opening: Opening, load: LoadTable, tie: float) -> Offer:
+def _offer(entry: Entry, opening: NewFlow, load: LoadTable, tie: float) -> Offer:
     settings = load.settings
     report = entry.record.report
     token = entry.record.token
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -8,7 +8,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
-from kumquatmux_tokens.choice import Choice, Opening, choose
+from kumquatmux_tokens.choice import Choice, NewFlow, choose
 from kumquatmux_tokens.directory import Directory, Entry
 from kumquatmux_tokens.load import LoadTable
 from kumquatmux_tokens.packets import (
@@ -78,7 +78,7 @@
 
     def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
-        opening = Opening(question.tried, question.is_long, now)
+        opening = NewFlow(question.tried, question.is_long, now)
         choice = self._choose(question.service, opening)
         me = self.settings.vm
         if choice is None:
@@ -185,7 +185,7 @@
     def _place_here(self, head: Head, service: ServiceName, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
         tried = flow.tried if flow is not None and not flow.is_open else ()
-        opening = Opening(tried, self.load.is_long(head.route), now)
+        opening = NewFlow(tried, self.load.is_long(head.route), now)
         choice = self._choose(service, opening)
         if choice is None:
             return self._without_server(head, service, now)
@@ -216,7 +216,7 @@
         is_cautious = full_s < self.settings.cautious_s
         return is_cautious and len(self.placers.asked) >= self.settings.cautious_asked
 
-    def _choose(self, service: ServiceName, opening: Opening) -> Choice | None:
+    def _choose(self, service: ServiceName, opening: NewFlow) -> Choice | None:
         clashing = self.directory.clashing
         entries = self.directory.servers(service)
         if clashing:
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -4,15 +4,15 @@
 
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.choice import Opening, choose
+from kumquatmux_tokens.choice import NewFlow, choose
 from kumquatmux_tokens.directory import Directory
 from kumquatmux_tokens.load import LoadTable
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare, SharedWork
 
 NOW = 10.0
-SHORT = Opening((), False, NOW)
-LONG = Opening((), True, NOW)
+SHORT = NewFlow((), False, NOW)
+LONG = NewFlow((), True, NOW)
 
 
 def server(name, zone="a", slots=2, warm_up_s=0.0, doubts=0, phase=Phase.READY):
@@ -79,7 +79,7 @@
 
 def test_last_resorts_come_in_their_order():
     late, tried, fine = server("i-1", doubts=1), server("i-2"), server("i-3")
-    after = Opening((tried.token,), False, NOW)
+    after = NewFlow((tried.token,), False, NOW)
     assert chosen([late, tried, fine], {"i-3": 5}, opening=after) == "i-3"
     assert chosen([late, tried], opening=after) == "i-1"
     assert chosen([tried], opening=after) == "i-2"
