--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -20,12 +20,13 @@
     """A new flow that needs a server.
 
     Attributes:
-        tried: Tokens of the servers that earlier SYN packets of the flow were sent to.
+        tried_tokens: Tokens of the servers that earlier SYN packets of the flow were
+            sent to.
         is_long: Whether the flow is likely to carry many requests.
         now: Current time in monotonic seconds.
     """
 
-    tried: tuple[int, ...]
+    tried_tokens: tuple[int, ...]
     is_long: bool
     now: float
 
@@ -124,7 +125,7 @@
 def _grade(entry: Entry, opening: NewFlow, load: LoadTable) -> int:
     token = entry.record.token
     work = load.work.get(token)
-    if token in opening.tried:
+    if token in opening.tried_tokens:
         return 4
     if entry.record.is_late:
         return 3
