--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -22,12 +22,12 @@
     Attributes:
         tried_tokens: Tokens of the servers that earlier SYN packets of the flow were
             sent to.
-        is_long: Whether the flow is likely to carry many requests.
+        expects_many_requests: Whether the flow is likely to carry many requests.
         now: Current time in monotonic seconds.
     """
 
     tried_tokens: tuple[int, ...]
-    is_long: bool
+    expects_many_requests: bool
     now: float
 
 
@@ -153,7 +153,7 @@
         busy += total.busy
         open_flows += total.open
     idle = max(open_flows - busy, 0)
-    busy_cost = settings.long_busy_cost if opening.is_long else 1.0
+    busy_cost = settings.long_busy_cost if opening.expects_many_requests else 1.0
     cost = (busy_cost * busy + settings.open_cost * idle) / slots
     if entry.warm_at > opening.now:
         cost = (cost + 1 / slots) * settings.cold_cost
