--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -31,7 +31,7 @@
     now: float
 
 
-class Choice(NamedTuple):
+class Selection(NamedTuple):
     """The server selected for a flow, with the values that decided the selection.
 
     Attributes:
@@ -70,7 +70,7 @@
 
 def choose(
     entries: list[Entry], opening: NewFlow, load: LoadTable, random: Random
-) -> Choice | None:
+) -> Selection | None:
     """Select the server for a new flow.
 
     Only servers in phase ``READY`` are eligible. Each gets a priority level:
@@ -108,7 +108,7 @@
         offers += [_offer(one, opening, load, random.random()) for one in far]
         best = min(offers, key=_order)
     candidates = sum(1 for one in offers if one.grade == best.grade)
-    return Choice(best.entry, best.cost, candidates, best.grade, best.is_full)
+    return Selection(best.entry, best.cost, candidates, best.grade, best.is_full)
 
 
 def _is_sound(offer: Offer, load: LoadTable) -> bool:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -8,7 +8,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
-from kumquatmux_tokens.choice import Choice, NewFlow, choose
+from kumquatmux_tokens.choice import NewFlow, Selection, choose
 from kumquatmux_tokens.directory import Directory, Entry
 from kumquatmux_tokens.load import LoadTable
 from kumquatmux_tokens.packets import (
@@ -216,7 +216,7 @@
         is_cautious = full_s < self.settings.cautious_s
         return is_cautious and len(self.placers.asked) >= self.settings.cautious_asked
 
-    def _choose(self, service: ServiceName, opening: NewFlow) -> Choice | None:
+    def _choose(self, service: ServiceName, opening: NewFlow) -> Selection | None:
         clashing = self.directory.clashing
         entries = self.directory.servers(service)
         if clashing:
