--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -37,7 +37,7 @@
     Attributes:
         entry: The selected server.
         cost: Load per slot, increased for a server in another zone or in warm-up.
-        candidates: Number of evaluated servers with the same priority level.
+        candidate_count: Number of evaluated servers with the same priority level.
         grade: Priority level; 0 is preferred, higher levels are fallbacks.
         is_full: Whether the request queue of the selected server is full, so that the
             flow has to wait.
@@ -45,7 +45,7 @@
 
     entry: Entry
     cost: float
-    candidates: int
+    candidate_count: int
     grade: int
     is_full: bool
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -199,7 +199,7 @@
             choice.entry,
             now,
             cost=round(choice.cost, 3),
-            candidates=choice.candidates,
+            candidates=choice.candidate_count,
             grade=choice.grade,
         )
         return Forward(choice.entry.record, token)
