--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -38,7 +38,7 @@
         entry: The selected server.
         cost: Load per slot, increased for a server in another zone or in warm-up.
         candidate_count: Number of evaluated servers with the same priority level.
-        grade: Priority level; 0 is preferred, higher levels are fallbacks.
+        priority_level: Priority level; 0 is preferred, higher levels are fallbacks.
         is_full: Whether the request queue of the selected server is full, so that the
             flow has to wait.
     """
@@ -46,7 +46,7 @@
     entry: Entry
     cost: float
     candidate_count: int
-    grade: int
+    priority_level: int
     is_full: bool
 
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -200,7 +200,7 @@
             now,
             cost=round(choice.cost, 3),
             candidates=choice.candidate_count,
-            grade=choice.grade,
+            grade=choice.priority_level,
         )
         return Forward(choice.entry.record, token)
 
