--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -50,7 +50,7 @@
     is_full: bool
 
 
-class Offer(NamedTuple):
+class Candidate(NamedTuple):
     """A server that is evaluated as a candidate for a new flow.
 
     Attributes:
@@ -111,13 +111,13 @@
     return Selection(best.entry, best.cost, candidates, best.grade, best.is_full)
 
 
-def _is_sound(offer: Offer, load: LoadTable) -> bool:
+def _is_sound(offer: Candidate, load: LoadTable) -> bool:
     """Return whether no server of another zone can be a better choice."""
     is_cheap = offer.cost <= load.settings.remote_cost
     return offer.grade == 0 and not offer.is_full and is_cheap
 
 
-def _order(offer: Offer) -> tuple[bool, bool, int, float, float]:
+def _order(offer: Candidate) -> tuple[bool, bool, int, float, float]:
     is_last_resort = offer.grade >= LAST_RESORT_LEVEL
     return (is_last_resort, offer.is_full, offer.grade, offer.cost, offer.tie)
 
@@ -140,7 +140,7 @@
     return 0
 
 
-def _offer(entry: Entry, opening: NewFlow, load: LoadTable, tie: float) -> Offer:
+def _offer(entry: Entry, opening: NewFlow, load: LoadTable, tie: float) -> Candidate:
     settings = load.settings
     report = entry.record.report
     token = entry.record.token
@@ -160,4 +160,4 @@
     if report.zone != settings.zone:
         cost += settings.remote_cost
     is_full = busy >= slots + settings.queue_depth
-    return Offer(entry, _grade(entry, opening, load), is_full, cost, tie)
+    return Candidate(entry, _grade(entry, opening, load), is_full, cost, tie)
