--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -55,14 +55,14 @@
 
     Attributes:
         entry: The server.
-        grade: Priority level; 0 is preferred, higher levels are fallbacks.
+        priority_level: Priority level; 0 is preferred, higher levels are fallbacks.
         is_full: Whether the server's request queue is full.
         cost: Load per slot, increased for a server in another zone or in warm-up.
         tie: Random number that decides between otherwise equal candidates.
     """
 
     entry: Entry
-    grade: int
+    priority_level: int
     is_full: bool
     cost: float
     tie: float
@@ -107,19 +107,21 @@
         far = (one for one in ready if one.record.report.zone != zone)
         offers += [_offer(one, opening, load, random.random()) for one in far]
         best = min(offers, key=_order)
-    candidates = sum(1 for one in offers if one.grade == best.grade)
-    return Selection(best.entry, best.cost, candidates, best.grade, best.is_full)
+    candidates = sum(1 for one in offers if one.priority_level == best.priority_level)
+    return Selection(
+        best.entry, best.cost, candidates, best.priority_level, best.is_full
+    )
 
 
 def _is_sound(offer: Candidate, load: LoadTable) -> bool:
     """Return whether no server of another zone can be a better choice."""
     is_cheap = offer.cost <= load.settings.remote_cost
-    return offer.grade == 0 and not offer.is_full and is_cheap
+    return offer.priority_level == 0 and not offer.is_full and is_cheap
 
 
 def _order(offer: Candidate) -> tuple[bool, bool, int, float, float]:
-    is_last_resort = offer.grade >= LAST_RESORT_LEVEL
-    return (is_last_resort, offer.is_full, offer.grade, offer.cost, offer.tie)
+    is_last_resort = offer.priority_level >= LAST_RESORT_LEVEL
+    return (is_last_resort, offer.is_full, offer.priority_level, offer.cost, offer.tie)
 
 
 def _grade(entry: Entry, opening: NewFlow, load: LoadTable) -> int:
