Rename tie to tie_breaker

Names the purpose of the number.

Rename: libs/tokens/src/kumquatmux_tokens/choice.py tie tie_breaker

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -58,14 +58,14 @@
         priority_level: Priority level; 0 is preferred, higher levels are fallbacks.
         is_full: Whether the server's request queue is full.
         cost: Load per slot, increased for a server in another zone or in warm-up.
-        tie: Random number that decides between otherwise equal candidates.
+        tie_breaker: Random number that decides between otherwise equal candidates.
     """
 
     entry: Entry
     priority_level: int
     is_full: bool
     cost: float
-    tie: float
+    tie_breaker: float
 
 
 def choose(
@@ -121,7 +121,13 @@
 
 def _order(offer: Candidate) -> tuple[bool, bool, int, float, float]:
     is_last_resort = offer.priority_level >= LAST_RESORT_LEVEL
-    return (is_last_resort, offer.is_full, offer.priority_level, offer.cost, offer.tie)
+    return (
+        is_last_resort,
+        offer.is_full,
+        offer.priority_level,
+        offer.cost,
+        offer.tie_breaker,
+    )
 
 
 def _grade(entry: Entry, opening: NewFlow, load: LoadTable) -> int:
