--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -68,7 +68,7 @@
     tie_breaker: float
 
 
-def choose(
+def select_server(
     entries: list[Entry], opening: NewFlow, load: LoadTable, random: Random
 ) -> Selection | None:
     """Select the server for a new flow.
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -8,7 +8,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
-from kumquatmux_tokens.choice import NewFlow, Selection, choose
+from kumquatmux_tokens.choice import NewFlow, Selection, select_server
 from kumquatmux_tokens.directory import Directory, Entry
 from kumquatmux_tokens.load import LoadTable
 from kumquatmux_tokens.packets import (
@@ -221,7 +221,7 @@
         entries = self.directory.servers(service)
         if clashing:
             entries = [one for one in entries if one.record.token not in clashing]
-        return choose(entries, opening, self.load, self.random)
+        return select_server(entries, opening, self.load, self.random)
 
     def _telling(self, vm: VmId) -> Telling:
         return self.tellings.setdefault(vm, Telling())
