--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -69,7 +69,7 @@
 
 
 def select_server(
-    entries: list[Entry], opening: NewFlow, load: LoadTable, random: Random
+    entries: list[Entry], flow: NewFlow, load: LoadTable, random: Random
 ) -> Selection | None:
     """Select the server for a new flow.
 
@@ -89,7 +89,7 @@
 
     Args:
         entries: Servers of the service.
-        opening: The flow.
+        flow: The flow.
         load: Load on each server.
         random: Random number generator that breaks ties.
 
@@ -101,11 +101,11 @@
         return None
     zone = load.settings.zone
     near = [one for one in ready if one.record.report.zone == zone]
-    offers = [_offer(one, opening, load, random.random()) for one in near]
+    offers = [_offer(one, flow, load, random.random()) for one in near]
     best = min(offers, key=_order, default=None)
     if best is None or not _is_sound(best, load):
         far = (one for one in ready if one.record.report.zone != zone)
-        offers += [_offer(one, opening, load, random.random()) for one in far]
+        offers += [_offer(one, flow, load, random.random()) for one in far]
         best = min(offers, key=_order)
     candidates = sum(1 for one in offers if one.priority_level == best.priority_level)
     return Selection(
