--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -107,9 +107,11 @@
         far = (one for one in ready if one.record.report.zone != zone)
         offers += [_offer(one, flow, load, random.random()) for one in far]
         best = min(offers, key=_order)
-    candidates = sum(1 for one in offers if one.priority_level == best.priority_level)
+    candidate_count = sum(
+        1 for one in offers if one.priority_level == best.priority_level
+    )
     return Selection(
-        best.entry, best.cost, candidates, best.priority_level, best.is_full
+        best.entry, best.cost, candidate_count, best.priority_level, best.is_full
     )
 
 
