--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -101,14 +101,14 @@
         return None
     zone = load.settings.zone
     near = [one for one in ready if one.record.report.zone == zone]
-    offers = [_offer(one, flow, load, random.random()) for one in near]
-    best = min(offers, key=_order, default=None)
+    candidates = [_offer(one, flow, load, random.random()) for one in near]
+    best = min(candidates, key=_order, default=None)
     if best is None or not _is_sound(best, load):
         far = (one for one in ready if one.record.report.zone != zone)
-        offers += [_offer(one, flow, load, random.random()) for one in far]
-        best = min(offers, key=_order)
+        candidates += [_offer(one, flow, load, random.random()) for one in far]
+        best = min(candidates, key=_order)
     candidate_count = sum(
-        1 for one in offers if one.priority_level == best.priority_level
+        1 for one in candidates if one.priority_level == best.priority_level
     )
     return Selection(
         best.entry, best.cost, candidate_count, best.priority_level, best.is_full
