--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -96,15 +96,15 @@
     Returns:
         The selection, or None if no server is eligible.
     """
-    ready = [one for one in entries if one.record.report.phase == Phase.READY]
-    if not ready:
+    ready_entries = [one for one in entries if one.record.report.phase == Phase.READY]
+    if not ready_entries:
         return None
     zone = load.settings.zone
-    near = [one for one in ready if one.record.report.zone == zone]
+    near = [one for one in ready_entries if one.record.report.zone == zone]
     candidates = [_offer(one, flow, load, random.random()) for one in near]
     best = min(candidates, key=_order, default=None)
     if best is None or not _is_sound(best, load):
-        far = (one for one in ready if one.record.report.zone != zone)
+        far = (one for one in ready_entries if one.record.report.zone != zone)
         candidates += [_offer(one, flow, load, random.random()) for one in far]
         best = min(candidates, key=_order)
     candidate_count = sum(
