Rename near to local_entries

Entries of servers in this zone.

Rename: libs/tokens/src/kumquatmux_tokens/choice.py near local_entries

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -100,8 +100,8 @@
     if not ready_entries:
         return None
     zone = load.settings.zone
-    near = [one for one in ready_entries if one.record.report.zone == zone]
-    candidates = [_offer(one, flow, load, random.random()) for one in near]
+    local_entries = [one for one in ready_entries if one.record.report.zone == zone]
+    candidates = [_offer(one, flow, load, random.random()) for one in local_entries]
     best = min(candidates, key=_order, default=None)
     if best is None or not _is_sound(best, load):
         far = (one for one in ready_entries if one.record.report.zone != zone)
