--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -104,8 +104,12 @@
     candidates = [_offer(one, flow, load, random.random()) for one in local_entries]
     best = min(candidates, key=_order, default=None)
     if best is None or not _is_sound(best, load):
-        far = (one for one in ready_entries if one.record.report.zone != zone)
-        candidates += [_offer(one, flow, load, random.random()) for one in far]
+        remote_entries = (
+            one for one in ready_entries if one.record.report.zone != zone
+        )
+        candidates += [
+            _offer(one, flow, load, random.random()) for one in remote_entries
+        ]
         best = min(candidates, key=_order)
     candidate_count = sum(
         1 for one in candidates if one.priority_level == best.priority_level
