--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -103,7 +103,7 @@
     local_entries = [one for one in ready_entries if one.record.report.zone == zone]
     candidates = [_offer(one, flow, load, random.random()) for one in local_entries]
     best = min(candidates, key=_order, default=None)
-    if best is None or not _is_sound(best, load):
+    if best is None or not _beats_other_zones(best, load):
         remote_entries = (
             one for one in ready_entries if one.record.report.zone != zone
         )
@@ -119,7 +119,7 @@
     )
 
 
-def _is_sound(offer: Candidate, load: LoadTable) -> bool:
+def _beats_other_zones(offer: Candidate, load: LoadTable) -> bool:
     """Return whether no server of another zone can be a better choice."""
     is_cheap = offer.cost <= load.settings.remote_cost
     return offer.priority_level == 0 and not offer.is_full and is_cheap
