--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -119,10 +119,10 @@
     )
 
 
-def _beats_other_zones(offer: Candidate, load: LoadTable) -> bool:
+def _beats_other_zones(candidate: Candidate, load: LoadTable) -> bool:
     """Return whether no server of another zone can be a better choice."""
-    is_cheap = offer.cost <= load.settings.remote_cost
-    return offer.priority_level == 0 and not offer.is_full and is_cheap
+    is_cheap = candidate.cost <= load.settings.remote_cost
+    return candidate.priority_level == 0 and not candidate.is_full and is_cheap
 
 
 def _order(offer: Candidate) -> tuple[bool, bool, int, float, float]:
