--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -102,7 +102,7 @@
     zone = load.settings.zone
     local_entries = [one for one in ready_entries if one.record.report.zone == zone]
     candidates = [_offer(one, flow, load, random.random()) for one in local_entries]
-    best = min(candidates, key=_order, default=None)
+    best = min(candidates, key=_sort_key, default=None)
     if best is None or not _beats_other_zones(best, load):
         remote_entries = (
             one for one in ready_entries if one.record.report.zone != zone
@@ -110,7 +110,7 @@
         candidates += [
             _offer(one, flow, load, random.random()) for one in remote_entries
         ]
-        best = min(candidates, key=_order)
+        best = min(candidates, key=_sort_key)
     candidate_count = sum(
         1 for one in candidates if one.priority_level == best.priority_level
     )
@@ -125,7 +125,7 @@
     return candidate.priority_level == 0 and not candidate.is_full and is_cheap
 
 
-def _order(offer: Candidate) -> tuple[bool, bool, int, float, float]:
+def _sort_key(offer: Candidate) -> tuple[bool, bool, int, float, float]:
     is_last_resort = offer.priority_level >= LAST_RESORT_LEVEL
     return (
         is_last_resort,
