--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -125,14 +125,14 @@
     return candidate.priority_level == 0 and not candidate.is_full and is_cheap
 
 
-def _sort_key(offer: Candidate) -> tuple[bool, bool, int, float, float]:
-    is_last_resort = offer.priority_level >= LAST_RESORT_LEVEL
+def _sort_key(candidate: Candidate) -> tuple[bool, bool, int, float, float]:
+    is_last_resort = candidate.priority_level >= LAST_RESORT_LEVEL
     return (
         is_last_resort,
-        offer.is_full,
-        offer.priority_level,
-        offer.cost,
-        offer.tie_breaker,
+        candidate.is_full,
+        candidate.priority_level,
+        candidate.cost,
+        candidate.tie_breaker,
     )
 
 
