--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -136,7 +136,7 @@
     )
 
 
-def _grade(entry: Entry, opening: NewFlow, load: LoadTable) -> int:
+def _priority_level(entry: Entry, opening: NewFlow, load: LoadTable) -> int:
     token = entry.record.token
     work = load.work.get(token)
     if token in opening.tried_tokens:
@@ -174,4 +174,4 @@
     if report.zone != settings.zone:
         cost += settings.remote_cost
     is_full = busy >= slots + settings.queue_depth
-    return Candidate(entry, _grade(entry, opening, load), is_full, cost, tie)
+    return Candidate(entry, _priority_level(entry, opening, load), is_full, cost, tie)
