--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -138,7 +138,7 @@
 
 def _priority_level(entry: Entry, flow: NewFlow, load: LoadTable) -> int:
     token = entry.record.token
-    work = load.work.get(token)
+    own_load = load.work.get(token)
     if token in flow.tried_tokens:
         return 4
     if entry.record.is_late:
@@ -146,7 +146,7 @@
     if entry.record.report.zone in load.silent_zones:
         return LAST_RESORT_LEVEL
     total = load.zone.totals.get(token)
-    is_avoided = work is not None and work.avoided_until > flow.now
+    is_avoided = own_load is not None and own_load.avoided_until > flow.now
     if is_avoided or (total is not None and total.avoided > 0):
         return LAST_RESORT_LEVEL
     if entry.known_at > flow.now - load.settings.settle_s:
