Rename total to peer_load

Load reported by the other VMs.

Rename: libs/tokens/src/kumquatmux_tokens/choice.py total peer_load

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -145,9 +145,9 @@
         return 3
     if entry.record.report.zone in load.silent_zones:
         return LAST_RESORT_LEVEL
-    total = load.zone.totals.get(token)
+    peer_load = load.zone.totals.get(token)
     is_avoided = own_load is not None and own_load.avoided_until > flow.now
-    if is_avoided or (total is not None and total.avoided > 0):
+    if is_avoided or (peer_load is not None and peer_load.avoided > 0):
         return LAST_RESORT_LEVEL
     if entry.known_at > flow.now - load.settings.settle_s:
         return 1
