--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -101,14 +101,17 @@
         return None
     zone = load.settings.zone
     local_entries = [one for one in ready_entries if one.record.report.zone == zone]
-    candidates = [_offer(one, flow, load, random.random()) for one in local_entries]
+    candidates = [
+        _evaluate_candidate(one, flow, load, random.random()) for one in local_entries
+    ]
     best = min(candidates, key=_sort_key, default=None)
     if best is None or not _beats_other_zones(best, load):
         remote_entries = (
             one for one in ready_entries if one.record.report.zone != zone
         )
         candidates += [
-            _offer(one, flow, load, random.random()) for one in remote_entries
+            _evaluate_candidate(one, flow, load, random.random())
+            for one in remote_entries
         ]
         best = min(candidates, key=_sort_key)
     candidate_count = sum(
@@ -154,7 +157,9 @@
     return 0
 
 
-def _offer(entry: Entry, opening: NewFlow, load: LoadTable, tie: float) -> Candidate:
+def _evaluate_candidate(
+    entry: Entry, opening: NewFlow, load: LoadTable, tie: float
+) -> Candidate:
     settings = load.settings
     report = entry.record.report
     token = entry.record.token
