--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -158,7 +158,7 @@
 
 
 def _evaluate_candidate(
-    entry: Entry, opening: NewFlow, load: LoadTable, tie: float
+    entry: Entry, flow: NewFlow, load: LoadTable, tie: float
 ) -> Candidate:
     settings = load.settings
     report = entry.record.report
@@ -172,11 +172,11 @@
         busy += total.busy
         open_flows += total.open
     idle = max(open_flows - busy, 0)
-    busy_cost = settings.long_busy_cost if opening.expects_many_requests else 1.0
+    busy_cost = settings.long_busy_cost if flow.expects_many_requests else 1.0
     cost = (busy_cost * busy + settings.open_cost * idle) / slots
-    if entry.warm_at > opening.now:
+    if entry.warm_at > flow.now:
         cost = (cost + 1 / slots) * settings.cold_cost
     if report.zone != settings.zone:
         cost += settings.remote_cost
     is_full = busy >= slots + settings.queue_depth
-    return Candidate(entry, _priority_level(entry, opening, load), is_full, cost, tie)
+    return Candidate(entry, _priority_level(entry, flow, load), is_full, cost, tie)
