Rename tie to tie_breaker

Names the purpose of the number.

Rename: libs/tokens/src/kumquatmux_tokens/choice.py tie tie_breaker

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -158,7 +158,7 @@
 
 
 def _evaluate_candidate(
-    entry: Entry, flow: NewFlow, load: LoadTable, tie: float
+    entry: Entry, flow: NewFlow, load: LoadTable, tie_breaker: float
 ) -> Candidate:
     settings = load.settings
     report = entry.record.report
@@ -179,4 +179,6 @@
     if report.zone != settings.zone:
         cost += settings.remote_cost
     is_full = busy >= slots + settings.queue_depth
-    return Candidate(entry, _priority_level(entry, flow, load), is_full, cost, tie)
+    return Candidate(
+        entry, _priority_level(entry, flow, load), is_full, cost, tie_breaker
+    )
