--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -164,9 +164,9 @@
     report = entry.record.report
     token = entry.record.token
     slots = max(report.slots, 1)
-    own = load.work.get(token)
-    busy = own.busy if own else 0
-    open_flows = own.open if own else 0
+    own_load = load.work.get(token)
+    busy = own_load.busy if own_load else 0
+    open_flows = own_load.open if own_load else 0
     total = load.zone.totals.get(token)
     if total is not None:
         busy += total.busy
