Rename total to peer_load

Load reported by the other VMs.

Rename: libs/tokens/src/kumquatmux_tokens/choice.py total peer_load

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -167,10 +167,10 @@
     own_load = load.work.get(token)
     busy = own_load.busy if own_load else 0
     open_flows = own_load.open if own_load else 0
-    total = load.zone.totals.get(token)
-    if total is not None:
-        busy += total.busy
-        open_flows += total.open
+    peer_load = load.zone.totals.get(token)
+    if peer_load is not None:
+        busy += peer_load.busy
+        open_flows += peer_load.open
     idle = max(open_flows - busy, 0)
     busy_cost = settings.long_busy_cost if flow.expects_many_requests else 1.0
     cost = (busy_cost * busy + settings.open_cost * idle) / slots
