--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -165,20 +165,20 @@
     token = entry.record.token
     slots = max(report.slots, 1)
     own_load = load.work.get(token)
-    busy = own_load.busy if own_load else 0
+    active_requests = own_load.busy if own_load else 0
     open_flows = own_load.open if own_load else 0
     peer_load = load.zone.totals.get(token)
     if peer_load is not None:
-        busy += peer_load.busy
+        active_requests += peer_load.busy
         open_flows += peer_load.open
-    idle = max(open_flows - busy, 0)
+    idle = max(open_flows - active_requests, 0)
     busy_cost = settings.long_busy_cost if flow.expects_many_requests else 1.0
-    cost = (busy_cost * busy + settings.open_cost * idle) / slots
+    cost = (busy_cost * active_requests + settings.open_cost * idle) / slots
     if entry.warm_at > flow.now:
         cost = (cost + 1 / slots) * settings.cold_cost
     if report.zone != settings.zone:
         cost += settings.remote_cost
-    is_full = busy >= slots + settings.queue_depth
+    is_full = active_requests >= slots + settings.queue_depth
     return Candidate(
         entry, _priority_level(entry, flow, load), is_full, cost, tie_breaker
     )
