--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -172,8 +172,10 @@
         active_requests += peer_load.busy
         open_flows += peer_load.open
     idle_flows = max(open_flows - active_requests, 0)
-    busy_cost = settings.long_busy_cost if flow.expects_many_requests else 1.0
-    cost = (busy_cost * active_requests + settings.open_cost * idle_flows) / slots
+    active_request_cost = settings.long_busy_cost if flow.expects_many_requests else 1.0
+    cost = (
+        active_request_cost * active_requests + settings.open_cost * idle_flows
+    ) / slots
     if entry.warm_at > flow.now:
         cost = (cost + 1 / slots) * settings.cold_cost
     if report.zone != settings.zone:
