--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from kumquatmux_registry.records import Phase
-from kumquatmux_tokens.directory import Entry
+from kumquatmux_tokens.directory import ServerEntry
 from kumquatmux_tokens.load import LoadTable
 
 LAST_RESORT_LEVEL = 2
@@ -43,7 +43,7 @@
             flow has to wait.
     """
 
-    entry: Entry
+    entry: ServerEntry
     cost: float
     candidate_count: int
     priority_level: int
@@ -61,7 +61,7 @@
         tie_breaker: Random number that decides between otherwise equal candidates.
     """
 
-    entry: Entry
+    entry: ServerEntry
     priority_level: int
     is_full: bool
     cost: float
@@ -69,7 +69,7 @@
 
 
 def select_server(
-    entries: list[Entry], flow: NewFlow, load: LoadTable, random: Random
+    entries: list[ServerEntry], flow: NewFlow, load: LoadTable, random: Random
 ) -> Selection | None:
     """Select the server for a new flow.
 
@@ -139,7 +139,7 @@
     )
 
 
-def _priority_level(entry: Entry, flow: NewFlow, load: LoadTable) -> int:
+def _priority_level(entry: ServerEntry, flow: NewFlow, load: LoadTable) -> int:
     token = entry.record.token
     own_load = load.work.get(token)
     if token in flow.tried_tokens:
@@ -158,7 +158,7 @@
 
 
 def _evaluate_candidate(
-    entry: Entry, flow: NewFlow, load: LoadTable, tie_breaker: float
+    entry: ServerEntry, flow: NewFlow, load: LoadTable, tie_breaker: float
 ) -> Candidate:
     settings = load.settings
     report = entry.record.report
--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -9,7 +9,7 @@
 from kumquatmux_registry.records import Phase, ServerRecord
 
 
-class Entry(NamedTuple):
+class ServerEntry(NamedTuple):
     """One lifetime of a server, from its start to its end, as known to this VM.
 
     Attributes:
@@ -36,9 +36,9 @@
     """
 
     def __init__(self) -> None:
-        self.by_token: dict[int, Entry] = {}
+        self.by_token: dict[int, ServerEntry] = {}
         self.by_name: dict[str, int] = {}
-        self.by_service: dict[ServiceName, dict[int, Entry]] = {}
+        self.by_service: dict[ServiceName, dict[int, ServerEntry]] = {}
         self.clashing: set[int] = set()
 
     def put(self, record: ServerRecord, now: float) -> None:
@@ -59,13 +59,13 @@
             ended_at = now
         known_at = known.known_at if known else now
         warm_at = now + record.report.warm_up_s
-        self._store(token, Entry(record, known_at, ended_at, warm_at))
+        self._store(token, ServerEntry(record, known_at, ended_at, warm_at))
 
-    def servers(self, service: ServiceName) -> list[Entry]:
+    def servers(self, service: ServiceName) -> list[ServerEntry]:
         """Return the lifetimes of a service that have not ended."""
         return list(self.by_service.get(service, {}).values())
 
-    def open_entry(self, token: int) -> Entry | None:
+    def open_entry(self, token: int) -> ServerEntry | None:
         """Return the lifetime with a token if it accepts new flows, else None."""
         entry = self.by_token.get(token)
         if entry is None or token in self.clashing:
@@ -88,7 +88,7 @@
         if entry is not None and entry.ended_at is None:
             self._store(token, entry._replace(ended_at=now))
 
-    def _store(self, token: int, entry: Entry) -> None:
+    def _store(self, token: int, entry: ServerEntry) -> None:
         self.by_token[token] = entry
         service = self.by_service.setdefault(entry.record.report.service, {})
         if entry.ended_at is None:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_tokens.choice import NewFlow, Selection, select_server
-from kumquatmux_tokens.directory import Directory, Entry
+from kumquatmux_tokens.directory import Directory, ServerEntry
 from kumquatmux_tokens.load import LoadTable
 from kumquatmux_tokens.packets import (
     Ask,
@@ -295,7 +295,7 @@
         return Reset(ANY_SEQUENCE, "no-server")
 
     def _log_placed(
-        self, head: Head, entry: Entry, now: float, **grounds: float | str
+        self, head: Head, entry: ServerEntry, now: float, **grounds: float | str
     ) -> None:
         report = entry.record.report
         log_decision(
