--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -152,7 +152,7 @@
     is_avoided = own_load is not None and own_load.avoided_until > flow.now
     if is_avoided or (peer_load is not None and peer_load.avoided > 0):
         return LAST_RESORT_LEVEL
-    if entry.known_at > flow.now - load.settings.settle_s:
+    if entry.first_known_at > flow.now - load.settings.settle_s:
         return 1
     return 0
 
--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -14,13 +14,13 @@
 
     Attributes:
         record: Latest record of the lifetime.
-        known_at: Time when the lifetime became known, in monotonic seconds.
+        first_known_at: Time when the lifetime became known, in monotonic seconds.
         ended_at: Time when its end became known, None before that.
         warm_at: Time when its warm-up ends.
     """
 
     record: ServerRecord
-    known_at: float
+    first_known_at: float
     ended_at: float | None
     warm_at: float
 
@@ -57,7 +57,7 @@
         ended_at = known.ended_at if known and is_ended else None
         if is_ended and ended_at is None:
             ended_at = now
-        known_at = known.known_at if known else now
+        known_at = known.first_known_at if known else now
         warm_at = now + record.report.warm_up_s
         self._store(token, ServerEntry(record, known_at, ended_at, warm_at))
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -306,7 +306,7 @@
             service=report.service,
             server=report.lifetime,
             token=entry.record.token,
-            known_s=round(now - entry.known_at, 1),
+            known_s=round(now - entry.first_known_at, 1),
             **grounds,
         )
 
