Rename warm_at to warm_up_ends_at

Time when the warm-up ends.

Rename: libs/tokens/src/kumquatmux_tokens/directory.py warm_at warm_up_ends_at

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -176,7 +176,7 @@
     cost = (
         active_request_cost * active_requests + settings.open_cost * idle_flows
     ) / slots
-    if entry.warm_at > flow.now:
+    if entry.warm_up_ends_at > flow.now:
         cost = (cost + 1 / slots) * settings.cold_cost
     if report.zone != settings.zone:
         cost += settings.remote_cost
--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -16,13 +16,13 @@
         record: Latest record of the lifetime.
         first_known_at: Time when the lifetime became known, in monotonic seconds.
         ended_at: Time when its end became known, None before that.
-        warm_at: Time when its warm-up ends.
+        warm_up_ends_at: Time when its warm-up ends.
     """
 
     record: ServerRecord
     first_known_at: float
     ended_at: float | None
-    warm_at: float
+    warm_up_ends_at: float
 
 
 class Directory:
