Rename Directory to ServerDirectory

Says what the directory lists.

Rename: libs/tokens/src/kumquatmux_tokens/directory.py Directory ServerDirectory

--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -25,7 +25,7 @@
     warm_up_ends_at: float
 
 
-class Directory:
+class ServerDirectory:
     """Server lifetimes indexed by token, server name and service.
 
     Attributes:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_tokens.choice import NewFlow, Selection, select_server
-from kumquatmux_tokens.directory import Directory, ServerEntry
+from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTable
 from kumquatmux_tokens.packets import (
     Ask,
@@ -50,7 +50,7 @@
         self.settings = settings
         self.random = random
         self.started_at = now
-        self.directory = Directory()
+        self.directory = ServerDirectory()
         self.routes = RouteTable()
         self.load = LoadTable(settings)
         self.held = HeldTokens(settings)
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -5,7 +5,7 @@
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.choice import NewFlow, select_server
-from kumquatmux_tokens.directory import Directory
+from kumquatmux_tokens.directory import ServerDirectory
 from kumquatmux_tokens.load import LoadTable
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare, SharedWork
@@ -25,7 +25,7 @@
 
 def chosen(records, busy=(), opening=SHORT, known_at=0.0, open_flows=(), shared=None):
     """Return the name of the selected server, given requests and flows by name."""
-    directory = Directory()
+    directory = ServerDirectory()
     load = LoadTable(TokenSettings("e1", "a"))
     for record in records:
         directory.put(record, known_at)
@@ -88,7 +88,7 @@
 def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
     known = [server("i-1", "b")]
     assert chosen(known, known_at=NOW - 0.05) == "i-1"
-    directory = Directory()
+    directory = ServerDirectory()
     directory.put(server("i-1"), NOW - 0.05)
     directory.put(server("i-2", "b"), 0.0)
     load = LoadTable(TokenSettings("e1", "a"))
@@ -97,7 +97,7 @@
 
 
 def test_servers_of_a_zone_that_does_not_answer_come_last():
-    directory = Directory()
+    directory = ServerDirectory()
     directory.put(server("i-1", "b"), 0.0)
     directory.put(server("i-2", "c"), 0.0)
     load = LoadTable(TokenSettings("e1", "a"))
