--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -32,14 +32,14 @@
         by_token: All known lifetimes, including recently ended ones.
         by_name: Token of the latest lifetime, by server name.
         by_service: Lifetimes that have not ended, by service and token.
-        clashing: Tokens that two lifetimes share; neither gets new flows.
+        colliding_tokens: Tokens that two lifetimes share; neither gets new flows.
     """
 
     def __init__(self) -> None:
         self.by_token: dict[int, ServerEntry] = {}
         self.by_name: dict[str, int] = {}
         self.by_service: dict[ServiceName, dict[int, ServerEntry]] = {}
-        self.clashing: set[int] = set()
+        self.colliding_tokens: set[int] = set()
 
     def put(self, record: ServerRecord, now: float) -> None:
         """Store a server's latest record and end the lifetime that it replaces."""
@@ -51,7 +51,7 @@
         known = self.by_token.get(token)
         if known is not None and known.record.report.lifetime != lifetime:
             log_decision("token-clash", token=token, server=lifetime)
-            self.clashing.add(token)
+            self.colliding_tokens.add(token)
         self.by_name[lifetime.name] = token
         is_ended = record.report.phase == Phase.ENDED
         ended_at = known.ended_at if known and is_ended else None
@@ -68,7 +68,7 @@
     def open_entry(self, token: int) -> ServerEntry | None:
         """Return the lifetime with a token if it accepts new flows, else None."""
         entry = self.by_token.get(token)
-        if entry is None or token in self.clashing:
+        if entry is None or token in self.colliding_tokens:
             return None
         is_open = entry.record.report.phase == Phase.READY and entry.ended_at is None
         return entry if is_open else None
@@ -78,7 +78,7 @@
         for token, entry in list(self.by_token.items()):
             if entry.ended_at is not None and entry.ended_at < before:
                 del self.by_token[token]
-                self.clashing.discard(token)
+                self.colliding_tokens.discard(token)
                 name = entry.record.report.lifetime.name
                 if self.by_name.get(name) == token:
                     del self.by_name[name]
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -217,7 +217,7 @@
         return is_cautious and len(self.placers.asked) >= self.settings.cautious_asked
 
     def _choose(self, service: ServiceName, opening: NewFlow) -> Selection | None:
-        clashing = self.directory.clashing
+        clashing = self.directory.colliding_tokens
         entries = self.directory.servers(service)
         if clashing:
             entries = [one for one in entries if one.record.token not in clashing]
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -204,7 +204,7 @@
         for token, one in made.directory.by_service["entries"].items()
         if token == 5
     }
-    assert made.directory.clashing == {5}
+    assert made.directory.colliding_tokens == {5}
     assert made.handle(opening(), 3.0) == Wait("no-server-yet")
 
 
