--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -41,7 +41,7 @@
         self.by_service: dict[ServiceName, dict[int, ServerEntry]] = {}
         self.colliding_tokens: set[int] = set()
 
-    def put(self, record: ServerRecord, now: float) -> None:
+    def store_record(self, record: ServerRecord, now: float) -> None:
         """Store a server's latest record and end the lifetime that it replaces."""
         lifetime = record.report.lifetime
         token = record.token
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -73,7 +73,7 @@
 
     def learn(self, record: ServerRecord, now: float) -> list[Held]:
         """Store a server's record; return the packets buffered for its token."""
-        self.directory.put(record, now)
+        self.directory.store_record(record, now)
         return self.held.release(record.token)
 
     def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -28,7 +28,7 @@
     directory = ServerDirectory()
     load = LoadTable(TokenSettings("e1", "a"))
     for record in records:
-        directory.put(record, known_at)
+        directory.store_record(record, known_at)
     for name, count in dict(busy).items():
         load.work_at(Lifetime(name, 1).token).busy = count
     for name, count in dict(open_flows).items():
@@ -89,8 +89,8 @@
     known = [server("i-1", "b")]
     assert chosen(known, known_at=NOW - 0.05) == "i-1"
     directory = ServerDirectory()
-    directory.put(server("i-1"), NOW - 0.05)
-    directory.put(server("i-2", "b"), 0.0)
+    directory.store_record(server("i-1"), NOW - 0.05)
+    directory.store_record(server("i-2", "b"), 0.0)
     load = LoadTable(TokenSettings("e1", "a"))
     choice = select_server(directory.servers("entries"), SHORT, load, Random(1))
     assert choice.entry.record.report.lifetime.name == "i-2"
@@ -98,8 +98,8 @@
 
 def test_servers_of_a_zone_that_does_not_answer_come_last():
     directory = ServerDirectory()
-    directory.put(server("i-1", "b"), 0.0)
-    directory.put(server("i-2", "c"), 0.0)
+    directory.store_record(server("i-1", "b"), 0.0)
+    directory.store_record(server("i-2", "c"), 0.0)
     load = LoadTable(TokenSettings("e1", "a"))
     load.silent_zones = frozenset({"b"})
     names = set()
