Rename servers to running_servers

Only lifetimes that have not ended are returned.

Rename: libs/tokens/src/kumquatmux_tokens/directory.py servers running_servers

--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -61,7 +61,7 @@
         warm_at = now + record.report.warm_up_s
         self._store(token, ServerEntry(record, known_at, ended_at, warm_at))
 
-    def servers(self, service: ServiceName) -> list[ServerEntry]:
+    def running_servers(self, service: ServiceName) -> list[ServerEntry]:
         """Return the lifetimes of a service that have not ended."""
         return list(self.by_service.get(service, {}).values())
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -218,7 +218,7 @@
 
     def _choose(self, service: ServiceName, opening: NewFlow) -> Selection | None:
         clashing = self.directory.colliding_tokens
-        entries = self.directory.servers(service)
+        entries = self.directory.running_servers(service)
         if clashing:
             entries = [one for one in entries if one.record.token not in clashing]
         return select_server(entries, opening, self.load, self.random)
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -35,7 +35,9 @@
         load.work_at(Lifetime(name, 1).token).open = count
     if shared:
         load.zone.take(shared, NOW)
-    choice = select_server(directory.servers("entries"), opening, load, Random(1))
+    choice = select_server(
+        directory.running_servers("entries"), opening, load, Random(1)
+    )
     return choice and choice.entry.record.report.lifetime.name
 
 
@@ -92,7 +94,7 @@
     directory.store_record(server("i-1"), NOW - 0.05)
     directory.store_record(server("i-2", "b"), 0.0)
     load = LoadTable(TokenSettings("e1", "a"))
-    choice = select_server(directory.servers("entries"), SHORT, load, Random(1))
+    choice = select_server(directory.running_servers("entries"), SHORT, load, Random(1))
     assert choice.entry.record.report.lifetime.name == "i-2"
 
 
@@ -104,7 +106,9 @@
     load.silent_zones = frozenset({"b"})
     names = set()
     for seed in range(20):
-        choice = select_server(directory.servers("entries"), SHORT, load, Random(seed))
+        choice = select_server(
+            directory.running_servers("entries"), SHORT, load, Random(seed)
+        )
         names.add(choice.entry.record.report.lifetime.name)
     assert names == {"i-2"}
 
