--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -65,7 +65,7 @@
         """Return the lifetimes of a service that have not ended."""
         return list(self.by_service.get(service, {}).values())
 
-    def open_entry(self, token: int) -> ServerEntry | None:
+    def accepting_entry(self, token: int) -> ServerEntry | None:
         """Return the lifetime with a token if it accepts new flows, else None."""
         entry = self.by_token.get(token)
         if entry is None or token in self.colliding_tokens:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -116,7 +116,7 @@
         if route is None:
             return self._without_route(head)
         service = route.service_for(head.flow)
-        entry = self.directory.open_entry(answer.token)
+        entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_here(head, service, now)
         self._telling(answer.sender).grant = answer.grant
