Rename forget to remove_ended

Names the operation and its object.

Rename: libs/tokens/src/kumquatmux_tokens/directory.py forget remove_ended

--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -73,7 +73,7 @@
         is_open = entry.record.report.phase == Phase.READY and entry.ended_at is None
         return entry if is_open else None
 
-    def forget(self, before: float) -> None:
+    def remove_ended(self, before: float) -> None:
         """Remove lifetimes that ended before a given time."""
         for token, entry in list(self.by_token.items()):
             if entry.ended_at is not None and entry.ended_at < before:
