--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -47,7 +47,7 @@
         token = record.token
         former = self.by_name.get(lifetime.name)
         if former is not None and former != token:
-            self._end(former, now)
+            self._mark_ended(former, now)
         known = self.by_token.get(token)
         if known is not None and known.record.report.lifetime != lifetime:
             log_decision("token-clash", token=token, server=lifetime)
@@ -83,7 +83,7 @@
                 if self.by_name.get(name) == token:
                     del self.by_name[name]
 
-    def _end(self, token: int, now: float) -> None:
+    def _mark_ended(self, token: int, now: float) -> None:
         entry = self.by_token.get(token)
         if entry is not None and entry.ended_at is None:
             self._store(token, entry._replace(ended_at=now))
