Rename former to previous_token

Token of the previous lifetime.

Rename: libs/tokens/src/kumquatmux_tokens/directory.py former previous_token

--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -45,9 +45,9 @@
         """Store a server's latest record and end the lifetime that it replaces."""
         lifetime = record.report.lifetime
         token = record.token
-        former = self.by_name.get(lifetime.name)
-        if former is not None and former != token:
-            self._mark_ended(former, now)
+        previous_token = self.by_name.get(lifetime.name)
+        if previous_token is not None and previous_token != token:
+            self._mark_ended(previous_token, now)
         known = self.by_token.get(token)
         if known is not None and known.record.report.lifetime != lifetime:
             log_decision("token-clash", token=token, server=lifetime)
