--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -48,16 +48,16 @@
         previous_token = self.by_name.get(lifetime.name)
         if previous_token is not None and previous_token != token:
             self._mark_ended(previous_token, now)
-        known = self.by_token.get(token)
-        if known is not None and known.record.report.lifetime != lifetime:
+        known_entry = self.by_token.get(token)
+        if known_entry is not None and known_entry.record.report.lifetime != lifetime:
             log_decision("token-clash", token=token, server=lifetime)
             self.colliding_tokens.add(token)
         self.by_name[lifetime.name] = token
         is_ended = record.report.phase == Phase.ENDED
-        ended_at = known.ended_at if known and is_ended else None
+        ended_at = known_entry.ended_at if known_entry and is_ended else None
         if is_ended and ended_at is None:
             ended_at = now
-        known_at = known.first_known_at if known else now
+        known_at = known_entry.first_known_at if known_entry else now
         warm_at = now + record.report.warm_up_s
         self._store(token, ServerEntry(record, known_at, ended_at, warm_at))
 
