Rename is_open to accepts_flows

Says what the flag means.

Rename: libs/tokens/src/kumquatmux_tokens/directory.py is_open accepts_flows

--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -70,8 +70,10 @@
         entry = self.by_token.get(token)
         if entry is None or token in self.colliding_tokens:
             return None
-        is_open = entry.record.report.phase == Phase.READY and entry.ended_at is None
-        return entry if is_open else None
+        accepts_flows = (
+            entry.record.report.phase == Phase.READY and entry.ended_at is None
+        )
+        return entry if accepts_flows else None
 
     def remove_ended(self, before: float) -> None:
         """Remove lifetimes that ended before a given time."""
