Rename service to service_entries

Holds the entries of a service.

Rename: libs/tokens/src/kumquatmux_tokens/directory.py service service_entries

--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -92,8 +92,8 @@
 
     def _store(self, token: int, entry: ServerEntry) -> None:
         self.by_token[token] = entry
-        service = self.by_service.setdefault(entry.record.report.service, {})
+        service_entries = self.by_service.setdefault(entry.record.report.service, {})
         if entry.ended_at is None:
-            service[token] = entry
+            service_entries[token] = entry
         else:
-            service.pop(token, None)
+            service_entries.pop(token, None)
