--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -14,7 +14,7 @@
 from kumquatmux_core.latencies import Latencies
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.work import SharedWork, ZoneWork
+from kumquatmux_tokens.work import ServerLoad, ZoneWork
 
 SEQUENCE_SPACE = 1 << 32
 HALF_SPACE = 1 << 31
@@ -242,11 +242,11 @@
             if is_unused and work.answered_at < idle:
                 del self.work[token]
 
-    def told(self, now: float) -> list[SharedWork]:
+    def told(self, now: float) -> list[ServerLoad]:
         """Return the load to report to the other VMs of the zone."""
         self.expire_openings(now)
         return [
-            SharedWork(token, one.busy, one.open, one.avoided_until > now)
+            ServerLoad(token, one.busy, one.open, one.avoided_until > now)
             for token, one in self.work.items()
             if one.open or one.avoided_until > now
         ]
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -25,7 +25,7 @@
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.waiting import Held, HeldTokens, WaitingOpenings
-from kumquatmux_tokens.work import LoadShare, SharedWork, Telling
+from kumquatmux_tokens.work import LoadShare, ServerLoad, Telling
 
 ANY_SEQUENCE = 0
 
@@ -226,7 +226,7 @@
     def _telling(self, vm: VmId) -> Telling:
         return self.tellings.setdefault(vm, Telling())
 
-    def _work_by_vm(self, now: float) -> dict[VmId, list[SharedWork]]:
+    def _work_by_vm(self, now: float) -> dict[VmId, list[ServerLoad]]:
         """Return the load to report to each other VM.
 
         In a zone with more than ``tell_all`` entry VMs, the load on a server is
@@ -236,7 +236,7 @@
         others = [vm for vm in self.placers.peers if vm != self.settings.vm]
         if len(others) < self.settings.tell_all:
             return {vm: work for vm in others}
-        groups: dict[VmId, list[SharedWork]] = {}
+        groups: dict[VmId, list[ServerLoad]] = {}
         for one in work:
             entry = self.directory.by_token.get(one.token)
             if entry is None:
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -9,7 +9,7 @@
 from kumquatmux_tokens.settings import TokenSettings
 
 
-class SharedWork(NamedTuple):
+class ServerLoad(NamedTuple):
     """Load on one server as seen by one entry VM.
 
     Attributes:
@@ -43,7 +43,7 @@
     number: int
     is_whole: bool
     grant: int
-    work: tuple[SharedWork, ...]
+    work: tuple[ServerLoad, ...]
 
 
 class Total:
@@ -92,7 +92,7 @@
     def __init__(self) -> None:
         self.heard_at = 0.0
         self.number = 0
-        self.work: dict[int, SharedWork] = {}
+        self.work: dict[int, ServerLoad] = {}
         self.grants: list[Grant] = []
 
 
@@ -126,7 +126,7 @@
         if share.is_whole:
             named = {one.token for one in share.work}
             for token in [one for one in teller.work if one not in named]:
-                self._replace(teller, SharedWork(token, 0, 0, False))
+                self._replace(teller, ServerLoad(token, 0, 0, False))
         for one in share.work:
             self._replace(teller, one)
         self._settle(teller, share.grant, now)
@@ -147,7 +147,7 @@
             self._settle(teller, 0, now)
             if teller.heard_at < limit and not teller.grants:
                 for one in list(teller.work.values()):
-                    self._replace(teller, SharedWork(one.token, 0, 0, False))
+                    self._replace(teller, ServerLoad(one.token, 0, 0, False))
                 del self.tellers[vm]
 
     def _teller(self, vm: VmId, now: float) -> Teller:
@@ -157,7 +157,7 @@
             teller.heard_at = now
         return teller
 
-    def _replace(self, teller: Teller, work: SharedWork) -> None:
+    def _replace(self, teller: Teller, work: ServerLoad) -> None:
         former = teller.work.pop(work.token, None)
         if former is not None:
             self._add(work.token, -former.busy, -former.open, -former.is_avoided)
@@ -196,7 +196,7 @@
     """
 
     def __init__(self) -> None:
-        self.work: dict[int, SharedWork] = {}
+        self.work: dict[int, ServerLoad] = {}
         self.grant = 0
         self.told_grant = 0
         self.whole_at = float("-inf")
@@ -205,7 +205,7 @@
         self,
         me: VmId,
         number: int,
-        work: Iterable[SharedWork],
+        work: Iterable[ServerLoad],
         now: float,
         every: float,
     ) -> LoadShare | None:
@@ -224,7 +224,7 @@
             self.whole_at = now
             news = tuple(current.values())
         else:
-            gone = [SharedWork(one, 0, 0, False) for one in self.work.keys() - current]
+            gone = [ServerLoad(one, 0, 0, False) for one in self.work.keys() - current]
             changed = [
                 one for token, one in current.items() if self.work.get(token) != one
             ]
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -8,7 +8,7 @@
 from kumquatmux_tokens.directory import ServerDirectory
 from kumquatmux_tokens.load import LoadTable
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.work import LoadShare, SharedWork
+from kumquatmux_tokens.work import LoadShare, ServerLoad
 
 NOW = 10.0
 SHORT = NewFlow((), False, NOW)
@@ -52,7 +52,7 @@
 
 def test_the_work_that_other_vms_see_counts_too():
     token = Lifetime("i-1", 1).token
-    shared = LoadShare("e2", 1, True, 0, (SharedWork(token, 3, 3, False),))
+    shared = LoadShare("e2", 1, True, 0, (ServerLoad(token, 3, 3, False),))
     assert chosen([server("i-1"), server("i-2")], {"i-2": 1}, shared=shared) == "i-2"
 
 
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.work import LoadShare, SharedWork, Telling, ZoneWork
+from kumquatmux_tokens.work import LoadShare, ServerLoad, Telling, ZoneWork
 
 SETTINGS = TokenSettings("e1", "a")
 
@@ -20,7 +20,7 @@
 
 
 def work(token, busy=1, open_flows=1, is_avoided=False):
-    return SharedWork(token, busy, open_flows, is_avoided)
+    return ServerLoad(token, busy, open_flows, is_avoided)
 
 
 def sums(zone):
