Rename busy to active_requests

Counts requests in progress.

Rename: libs/tokens/src/kumquatmux_tokens/work.py busy active_requests

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -14,14 +14,14 @@
 
     Attributes:
         token: Token of the server.
-        busy: Requests in progress.
+        active_requests: Requests in progress.
         open: Open flows.
         is_avoided: Whether the VM avoids the server because it left SYN packets
             unanswered.
     """
 
     token: int
-    busy: int
+    active_requests: int
     open: int
     is_avoided: bool
 
@@ -160,10 +160,12 @@
     def _replace(self, teller: Teller, work: ServerLoad) -> None:
         former = teller.work.pop(work.token, None)
         if former is not None:
-            self._add(work.token, -former.busy, -former.open, -former.is_avoided)
-        if work.busy or work.open or work.is_avoided:
+            self._add(
+                work.token, -former.active_requests, -former.open, -former.is_avoided
+            )
+        if work.active_requests or work.open or work.is_avoided:
             teller.work[work.token] = work
-            self._add(work.token, work.busy, work.open, int(work.is_avoided))
+            self._add(work.token, work.active_requests, work.open, int(work.is_avoided))
 
     def _settle(self, teller: Teller, grant: int, now: float) -> None:
         kept = []
