--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -15,14 +15,14 @@
     Attributes:
         token: Token of the server.
         active_requests: Requests in progress.
-        open: Open flows.
+        open_flows: Open flows.
         is_avoided: Whether the VM avoids the server because it left SYN packets
             unanswered.
     """
 
     token: int
     active_requests: int
-    open: int
+    open_flows: int
     is_avoided: bool
 
 
@@ -161,11 +161,16 @@
         former = teller.work.pop(work.token, None)
         if former is not None:
             self._add(
-                work.token, -former.active_requests, -former.open, -former.is_avoided
+                work.token,
+                -former.active_requests,
+                -former.open_flows,
+                -former.is_avoided,
             )
-        if work.active_requests or work.open or work.is_avoided:
+        if work.active_requests or work.open_flows or work.is_avoided:
             teller.work[work.token] = work
-            self._add(work.token, work.active_requests, work.open, int(work.is_avoided))
+            self._add(
+                work.token, work.active_requests, work.open_flows, int(work.is_avoided)
+            )
 
     def _settle(self, teller: Teller, grant: int, now: float) -> None:
         kept = []
