--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -32,16 +32,16 @@
     Attributes:
         sender: The reporting VM.
         number: Report number, which increases with each report of a process.
-        is_whole: Whether the report is complete, so that servers not listed in it have
-            no load at the sender.
+        is_complete: Whether the report is complete, so that servers not listed in it
+            have no load at the sender.
         grant: Number of the receiver's latest reservation that ``work`` already
             includes, 0 for none.
-        work: Load on each server whose load changed, or on all if ``is_whole``.
+        work: Load on each server whose load changed, or on all if ``is_complete``.
     """
 
     sender: VmId
     number: int
-    is_whole: bool
+    is_complete: bool
     grant: int
     work: tuple[ServerLoad, ...]
 
@@ -123,7 +123,7 @@
             return
         teller.number = share.number
         teller.heard_at = now
-        if share.is_whole:
+        if share.is_complete:
             named = {one.token for one in share.work}
             for token in [one for one in teller.work if one not in named]:
                 self._replace(teller, ServerLoad(token, 0, 0, False))
