--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -34,15 +34,15 @@
         number: Report number, which increases with each report of a process.
         is_complete: Whether the report is complete, so that servers not listed in it
             have no load at the sender.
-        grant: Number of the receiver's latest reservation that ``work`` already
-            includes, 0 for none.
+        included_reservation: Number of the receiver's latest reservation that ``work``
+            already includes, 0 for none.
         work: Load on each server whose load changed, or on all if ``is_complete``.
     """
 
     sender: VmId
     number: int
     is_complete: bool
-    grant: int
+    included_reservation: int
     work: tuple[ServerLoad, ...]
 
 
@@ -129,7 +129,7 @@
                 self._replace(teller, ServerLoad(token, 0, 0, False))
         for one in share.work:
             self._replace(teller, one)
-        self._settle(teller, share.grant, now)
+        self._settle(teller, share.included_reservation, now)
 
     def grant(self, vm: VmId, token: int, now: float) -> Grant:
         """Reserve capacity for a flow that another VM is about to open."""
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -97,7 +97,7 @@
     telling = Telling()
     telling.news("e1", 1, [], 1.0, 0.7)
     telling.grant = 4
-    assert telling.news("e1", 2, [], 1.1, 0.7).grant == 4
+    assert telling.news("e1", 2, [], 1.1, 0.7).included_reservation == 4
     assert telling.news("e1", 3, [], 1.2, 0.7) is None
 
 
