--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -34,16 +34,17 @@
         number: Report number, which increases with each report of a process.
         is_complete: Whether the report is complete, so that servers not listed in it
             have no load at the sender.
-        included_reservation: Number of the receiver's latest reservation that ``work``
-            already includes, 0 for none.
-        work: Load on each server whose load changed, or on all if ``is_complete``.
+        included_reservation: Number of the receiver's latest reservation that
+            ``server_loads`` already includes, 0 for none.
+        server_loads: Load on each server whose load changed, or on all if
+            ``is_complete``.
     """
 
     sender: VmId
     number: int
     is_complete: bool
     included_reservation: int
-    work: tuple[ServerLoad, ...]
+    server_loads: tuple[ServerLoad, ...]
 
 
 class Total:
@@ -124,10 +125,10 @@
         teller.number = share.number
         teller.heard_at = now
         if share.is_complete:
-            named = {one.token for one in share.work}
+            named = {one.token for one in share.server_loads}
             for token in [one for one in teller.work if one not in named]:
                 self._replace(teller, ServerLoad(token, 0, 0, False))
-        for one in share.work:
+        for one in share.server_loads:
             self._replace(teller, one)
         self._settle(teller, share.included_reservation, now)
 
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -85,10 +85,10 @@
 def test_only_changes_are_told_until_all_is_due_again():
     telling = Telling()
     first = telling.news("e1", 1, [work(7), work(8)], 1.0, 0.7)
-    assert first.is_complete and len(first.work) == 2
+    assert first.is_complete and len(first.server_loads) == 2
     assert telling.news("e1", 2, [work(7), work(8)], 1.1, 0.7) is None
     news = telling.news("e1", 2, [work(7, 2, 2)], 1.2, 0.7)
-    assert set(news.work) == {work(7, 2, 2), work(8, 0, 0)}
+    assert set(news.server_loads) == {work(7, 2, 2), work(8, 0, 0)}
     assert not news.is_complete
     assert telling.news("e1", 3, [work(7, 2, 2)], 1.8, 0.7).is_complete
 
