--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -47,7 +47,7 @@
     server_loads: tuple[ServerLoad, ...]
 
 
-class Total:
+class PeerLoadTotal:
     """Load on one server, summed over the other VMs of the zone.
 
     Attributes:
@@ -108,7 +108,7 @@
 
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
-        self.totals: dict[int, Total] = {}
+        self.totals: dict[int, PeerLoadTotal] = {}
         self.tellers: dict[VmId, Teller] = {}
         self.granted = 0
 
@@ -185,7 +185,7 @@
     def _add(self, token: int, busy: int, open_flows: int, avoided: int) -> None:
         total = self.totals.get(token)
         if total is None:
-            total = self.totals[token] = Total()
+            total = self.totals[token] = PeerLoadTotal()
         total.busy += busy
         total.open += open_flows
         total.avoided += avoided
