--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -169,7 +169,7 @@
     open_flows = own_load.open if own_load else 0
     peer_load = load.zone.totals.get(token)
     if peer_load is not None:
-        active_requests += peer_load.busy
+        active_requests += peer_load.active_requests
         open_flows += peer_load.open
     idle_flows = max(open_flows - active_requests, 0)
     active_request_cost = settings.long_busy_cost if flow.expects_many_requests else 1.0
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -51,15 +51,15 @@
     """Load on one server, summed over the other VMs of the zone.
 
     Attributes:
-        busy: Requests in progress, including reservations.
+        active_requests: Requests in progress, including reservations.
         open: Open flows, including reservations.
         avoided: Number of VMs that avoid the server.
     """
 
-    __slots__ = ("avoided", "busy", "open")
+    __slots__ = ("avoided", "active_requests", "open")
 
     def __init__(self) -> None:
-        self.busy = 0
+        self.active_requests = 0
         self.open = 0
         self.avoided = 0
 
@@ -186,10 +186,10 @@
         total = self.totals.get(token)
         if total is None:
             total = self.totals[token] = PeerLoadTotal()
-        total.busy += busy
+        total.active_requests += busy
         total.open += open_flows
         total.avoided += avoided
-        if not (total.busy or total.open or total.avoided):
+        if not (total.active_requests or total.open or total.avoided):
             del self.totals[token]
 
 
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -89,6 +89,6 @@
     other = LoadTable(TokenSettings("e2", "a"))
     other.zone.take(LoadShare("e1", 1, True, 0, tuple(load.told(0.1))), 0.1)
     other.sweep(1.6)
-    assert other.zone.totals[7].busy == 1
+    assert other.zone.totals[7].active_requests == 1
     other.sweep(1.8)
     assert other.zone.totals == {}
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -24,7 +24,9 @@
 
 
 def sums(zone):
-    return {token: (one.busy, one.open) for token, one in zone.totals.items()}
+    return {
+        token: (one.active_requests, one.open) for token, one in zone.totals.items()
+    }
 
 
 def test_work_is_summed_over_the_vms_that_tell(zone):
