--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -170,7 +170,7 @@
     peer_load = load.zone.totals.get(token)
     if peer_load is not None:
         active_requests += peer_load.active_requests
-        open_flows += peer_load.open
+        open_flows += peer_load.open_flows
     idle_flows = max(open_flows - active_requests, 0)
     active_request_cost = settings.long_busy_cost if flow.expects_many_requests else 1.0
     cost = (
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -52,15 +52,15 @@
 
     Attributes:
         active_requests: Requests in progress, including reservations.
-        open: Open flows, including reservations.
+        open_flows: Open flows, including reservations.
         avoided: Number of VMs that avoid the server.
     """
 
-    __slots__ = ("avoided", "active_requests", "open")
+    __slots__ = ("avoided", "active_requests", "open_flows")
 
     def __init__(self) -> None:
         self.active_requests = 0
-        self.open = 0
+        self.open_flows = 0
         self.avoided = 0
 
 
@@ -187,9 +187,9 @@
         if total is None:
             total = self.totals[token] = PeerLoadTotal()
         total.active_requests += busy
-        total.open += open_flows
+        total.open_flows += open_flows
         total.avoided += avoided
-        if not (total.active_requests or total.open or total.avoided):
+        if not (total.active_requests or total.open_flows or total.avoided):
             del self.totals[token]
 
 
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -25,7 +25,8 @@
 
 def sums(zone):
     return {
-        token: (one.active_requests, one.open) for token, one in zone.totals.items()
+        token: (one.active_requests, one.open_flows)
+        for token, one in zone.totals.items()
     }
 
 
