Rename avoided to avoiding_vms

Counts the VMs that avoid the server.

Rename: libs/tokens/src/kumquatmux_tokens/work.py avoided avoiding_vms

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -150,7 +150,7 @@
         return LAST_RESORT_LEVEL
     peer_load = load.zone.totals.get(token)
     is_avoided = own_load is not None and own_load.avoided_until > flow.now
-    if is_avoided or (peer_load is not None and peer_load.avoided > 0):
+    if is_avoided or (peer_load is not None and peer_load.avoiding_vms > 0):
         return LAST_RESORT_LEVEL
     if entry.first_known_at > flow.now - load.settings.settle_s:
         return 1
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -209,7 +209,7 @@
         if self.work_at(token).strikes:
             return True
         total = self.zone.totals.get(token)
-        return total is not None and total.avoided > 0
+        return total is not None and total.avoiding_vms > 0
 
     def drop(self, key: bytes) -> None:
         """Remove a flow and its load."""
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -53,15 +53,15 @@
     Attributes:
         active_requests: Requests in progress, including reservations.
         open_flows: Open flows, including reservations.
-        avoided: Number of VMs that avoid the server.
+        avoiding_vms: Number of VMs that avoid the server.
     """
 
-    __slots__ = ("avoided", "active_requests", "open_flows")
+    __slots__ = ("avoiding_vms", "active_requests", "open_flows")
 
     def __init__(self) -> None:
         self.active_requests = 0
         self.open_flows = 0
-        self.avoided = 0
+        self.avoiding_vms = 0
 
 
 class Grant(NamedTuple):
@@ -188,8 +188,8 @@
             total = self.totals[token] = PeerLoadTotal()
         total.active_requests += busy
         total.open_flows += open_flows
-        total.avoided += avoided
-        if not (total.active_requests or total.open_flows or total.avoided):
+        total.avoiding_vms += avoided
+        if not (total.active_requests or total.open_flows or total.avoiding_vms):
             del self.totals[token]
 
 
