Rename Grant to Reservation

Usual term for capacity that is counted before it is used.

Rename: libs/tokens/src/kumquatmux_tokens/work.py Grant Reservation

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -64,7 +64,7 @@
         self.avoiding_vms = 0
 
 
-class Grant(NamedTuple):
+class Reservation(NamedTuple):
     """Reservation for a flow that this VM placed on behalf of another VM.
 
     It counts as load until the other VM's reports include the flow.
@@ -94,7 +94,7 @@
         self.heard_at = 0.0
         self.number = 0
         self.work: dict[int, ServerLoad] = {}
-        self.grants: list[Grant] = []
+        self.grants: list[Reservation] = []
 
 
 class ZoneWork:
@@ -132,11 +132,11 @@
             self._replace(teller, one)
         self._settle(teller, share.included_reservation, now)
 
-    def grant(self, vm: VmId, token: int, now: float) -> Grant:
+    def grant(self, vm: VmId, token: int, now: float) -> Reservation:
         """Reserve capacity for a flow that another VM is about to open."""
         self.granted += 1
         until = now + self.settings.grant_s
-        granted = Grant(self.granted, token, until)
+        granted = Reservation(self.granted, token, until)
         self._teller(vm, now).grants.append(granted)
         self._add(token, 1, 1, 0)
         return granted
