Rename until to expires_at

Time when the reservation expires.

Rename: libs/tokens/src/kumquatmux_tokens/work.py until expires_at

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -72,12 +72,12 @@
     Attributes:
         number: Reservation number, which increases within a process.
         token: Token of the server.
-        until: Time when the reservation expires, in monotonic seconds.
+        expires_at: Time when the reservation expires, in monotonic seconds.
     """
 
     number: int
     token: int
-    until: float
+    expires_at: float
 
 
 class Teller:
@@ -176,7 +176,7 @@
     def _settle(self, teller: Teller, grant: int, now: float) -> None:
         kept = []
         for one in teller.grants:
-            if one.number <= grant or one.until <= now:
+            if one.number <= grant or one.expires_at <= now:
                 self._add(one.token, -1, -1, 0)
             else:
                 kept.append(one)
