--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -80,7 +80,7 @@
     expires_at: float
 
 
-class Teller:
+class ReportingPeer:
     """State of the load reports from one other VM.
 
     Attributes:
@@ -109,7 +109,7 @@
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
         self.totals: dict[int, PeerLoadTotal] = {}
-        self.tellers: dict[VmId, Teller] = {}
+        self.tellers: dict[VmId, ReportingPeer] = {}
         self.granted = 0
 
     def take(self, share: LoadShare, now: float) -> None:
@@ -151,14 +151,14 @@
                     self._replace(teller, ServerLoad(one.token, 0, 0, False))
                 del self.tellers[vm]
 
-    def _teller(self, vm: VmId, now: float) -> Teller:
+    def _teller(self, vm: VmId, now: float) -> ReportingPeer:
         teller = self.tellers.get(vm)
         if teller is None:
-            teller = self.tellers[vm] = Teller()
+            teller = self.tellers[vm] = ReportingPeer()
             teller.heard_at = now
         return teller
 
-    def _replace(self, teller: Teller, work: ServerLoad) -> None:
+    def _replace(self, teller: ReportingPeer, work: ServerLoad) -> None:
         former = teller.work.pop(work.token, None)
         if former is not None:
             self._add(
@@ -173,7 +173,7 @@
                 work.token, work.active_requests, work.open_flows, int(work.is_avoided)
             )
 
-    def _settle(self, teller: Teller, grant: int, now: float) -> None:
+    def _settle(self, teller: ReportingPeer, grant: int, now: float) -> None:
         kept = []
         for one in teller.grants:
             if one.number <= grant or one.expires_at <= now:
