Rename heard_at to last_report_at

Time of the latest report.

Rename: libs/tokens/src/kumquatmux_tokens/work.py heard_at last_report_at

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -84,14 +84,14 @@
     """State of the load reports from one other VM.
 
     Attributes:
-        heard_at: Time of the latest report, in monotonic seconds.
+        last_report_at: Time of the latest report, in monotonic seconds.
         number: Number of the latest report.
         work: Reported load by token.
         grants: Reservations for the VM that its reports do not include yet.
     """
 
     def __init__(self) -> None:
-        self.heard_at = 0.0
+        self.last_report_at = 0.0
         self.number = 0
         self.work: dict[int, ServerLoad] = {}
         self.grants: list[Reservation] = []
@@ -123,7 +123,7 @@
         if is_old:
             return
         teller.number = share.number
-        teller.heard_at = now
+        teller.last_report_at = now
         if share.is_complete:
             named = {one.token for one in share.server_loads}
             for token in [one for one in teller.work if one not in named]:
@@ -146,7 +146,7 @@
         limit = now - self.settings.shared_for_s
         for vm, teller in list(self.tellers.items()):
             self._settle(teller, 0, now)
-            if teller.heard_at < limit and not teller.grants:
+            if teller.last_report_at < limit and not teller.grants:
                 for one in list(teller.work.values()):
                     self._replace(teller, ServerLoad(one.token, 0, 0, False))
                 del self.tellers[vm]
@@ -155,7 +155,7 @@
         teller = self.tellers.get(vm)
         if teller is None:
             teller = self.tellers[vm] = ReportingPeer()
-            teller.heard_at = now
+            teller.last_report_at = now
         return teller
 
     def _replace(self, teller: ReportingPeer, work: ServerLoad) -> None:
