Rename number to last_report_number

Number of the latest report.

Rename: libs/tokens/src/kumquatmux_tokens/work.py number last_report_number

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -85,14 +85,14 @@
 
     Attributes:
         last_report_at: Time of the latest report, in monotonic seconds.
-        number: Number of the latest report.
+        last_report_number: Number of the latest report.
         work: Reported load by token.
         grants: Reservations for the VM that its reports do not include yet.
     """
 
     def __init__(self) -> None:
         self.last_report_at = 0.0
-        self.number = 0
+        self.last_report_number = 0
         self.work: dict[int, ServerLoad] = {}
         self.grants: list[Reservation] = []
 
@@ -119,10 +119,14 @@
         ``reordered_shares`` or more comes from a restarted process and is accepted.
         """
         teller = self._teller(share.sender, now)
-        is_old = 0 < teller.number - share.number < self.settings.reordered_shares
+        is_old = (
+            0
+            < teller.last_report_number - share.number
+            < self.settings.reordered_shares
+        )
         if is_old:
             return
-        teller.number = share.number
+        teller.last_report_number = share.number
         teller.last_report_at = now
         if share.is_complete:
             named = {one.token for one in share.server_loads}
