--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -86,14 +86,14 @@
     Attributes:
         last_report_at: Time of the latest report, in monotonic seconds.
         last_report_number: Number of the latest report.
-        work: Reported load by token.
+        server_loads: Reported load by token.
         grants: Reservations for the VM that its reports do not include yet.
     """
 
     def __init__(self) -> None:
         self.last_report_at = 0.0
         self.last_report_number = 0
-        self.work: dict[int, ServerLoad] = {}
+        self.server_loads: dict[int, ServerLoad] = {}
         self.grants: list[Reservation] = []
 
 
@@ -130,7 +130,7 @@
         teller.last_report_at = now
         if share.is_complete:
             named = {one.token for one in share.server_loads}
-            for token in [one for one in teller.work if one not in named]:
+            for token in [one for one in teller.server_loads if one not in named]:
                 self._replace(teller, ServerLoad(token, 0, 0, False))
         for one in share.server_loads:
             self._replace(teller, one)
@@ -151,7 +151,7 @@
         for vm, teller in list(self.tellers.items()):
             self._settle(teller, 0, now)
             if teller.last_report_at < limit and not teller.grants:
-                for one in list(teller.work.values()):
+                for one in list(teller.server_loads.values()):
                     self._replace(teller, ServerLoad(one.token, 0, 0, False))
                 del self.tellers[vm]
 
@@ -163,7 +163,7 @@
         return teller
 
     def _replace(self, teller: ReportingPeer, work: ServerLoad) -> None:
-        former = teller.work.pop(work.token, None)
+        former = teller.server_loads.pop(work.token, None)
         if former is not None:
             self._add(
                 work.token,
@@ -172,7 +172,7 @@
                 -former.is_avoided,
             )
         if work.active_requests or work.open_flows or work.is_avoided:
-            teller.work[work.token] = work
+            teller.server_loads[work.token] = work
             self._add(
                 work.token, work.active_requests, work.open_flows, int(work.is_avoided)
             )
