--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -87,14 +87,14 @@
         last_report_at: Time of the latest report, in monotonic seconds.
         last_report_number: Number of the latest report.
         server_loads: Reported load by token.
-        grants: Reservations for the VM that its reports do not include yet.
+        reservations: Reservations for the VM that its reports do not include yet.
     """
 
     def __init__(self) -> None:
         self.last_report_at = 0.0
         self.last_report_number = 0
         self.server_loads: dict[int, ServerLoad] = {}
-        self.grants: list[Reservation] = []
+        self.reservations: list[Reservation] = []
 
 
 class ZoneWork:
@@ -141,7 +141,7 @@
         self.granted += 1
         until = now + self.settings.grant_s
         granted = Reservation(self.granted, token, until)
-        self._teller(vm, now).grants.append(granted)
+        self._teller(vm, now).reservations.append(granted)
         self._add(token, 1, 1, 0)
         return granted
 
@@ -150,7 +150,7 @@
         limit = now - self.settings.shared_for_s
         for vm, teller in list(self.tellers.items()):
             self._settle(teller, 0, now)
-            if teller.last_report_at < limit and not teller.grants:
+            if teller.last_report_at < limit and not teller.reservations:
                 for one in list(teller.server_loads.values()):
                     self._replace(teller, ServerLoad(one.token, 0, 0, False))
                 del self.tellers[vm]
@@ -179,12 +179,12 @@
 
     def _settle(self, teller: ReportingPeer, grant: int, now: float) -> None:
         kept = []
-        for one in teller.grants:
+        for one in teller.reservations:
             if one.number <= grant or one.expires_at <= now:
                 self._add(one.token, -1, -1, 0)
             else:
                 kept.append(one)
-        teller.grants = kept
+        teller.reservations = kept
 
     def _add(self, token: int, busy: int, open_flows: int, avoided: int) -> None:
         total = self.totals.get(token)
