Rename ZoneWork to PeerLoad

Load that the other VMs report; the load of this VM is not part of it.

Rename: libs/tokens/src/kumquatmux_tokens/work.py ZoneWork PeerLoad

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -14,7 +14,7 @@
 from kumquatmux_core.latencies import Latencies
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.work import ServerLoad, ZoneWork
+from kumquatmux_tokens.work import PeerLoad, ServerLoad
 
 SEQUENCE_SPACE = 1 << 32
 HALF_SPACE = 1 << 31
@@ -106,7 +106,7 @@
         self.settings = settings
         self.flows: dict[bytes, Flow] = {}
         self.work: dict[int, Work] = {}
-        self.zone = ZoneWork(settings)
+        self.zone = PeerLoad(settings)
         self.openings: deque[tuple[float, bytes]] = deque()
         self.long: dict[bytes, float] = {}
         self.silent_zones: frozenset[ZoneName] = frozenset()
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -97,7 +97,7 @@
         self.reservations: list[Reservation] = []
 
 
-class ZoneWork:
+class PeerLoad:
     """Load on servers that the other VMs of the zone report.
 
     Attributes:
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -5,14 +5,14 @@
 from hypothesis import strategies as st
 
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.work import LoadShare, ServerLoad, Telling, ZoneWork
+from kumquatmux_tokens.work import LoadShare, PeerLoad, ServerLoad, Telling
 
 SETTINGS = TokenSettings("e1", "a")
 
 
 @pytest.fixture
 def zone():
-    return ZoneWork(SETTINGS)
+    return PeerLoad(SETTINGS)
 
 
 def share(*work, sender="e2", number=1, is_whole=True, grant=0):
@@ -110,7 +110,7 @@
 
 @given(st.lists(st.tuples(states, st.booleans()), min_size=1, max_size=12))
 def test_whatever_gets_lost_the_next_whole_message_mends(steps):
-    zone, telling = ZoneWork(SETTINGS), Telling()
+    zone, telling = PeerLoad(SETTINGS), Telling()
     now = 0.0
     for number, (state, is_lost) in enumerate(steps, 1):
         now += 0.05
