Rename tellers to reporting_peers

VMs that send load reports.

Rename: libs/tokens/src/kumquatmux_tokens/work.py tellers reporting_peers

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -102,14 +102,14 @@
 
     Attributes:
         totals: Sums by token.
-        tellers: State of the reports from each VM.
+        reporting_peers: State of the reports from each VM.
         granted: Number of reservations made.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
         self.totals: dict[int, PeerLoadTotal] = {}
-        self.tellers: dict[VmId, ReportingPeer] = {}
+        self.reporting_peers: dict[VmId, ReportingPeer] = {}
         self.granted = 0
 
     def take(self, share: LoadShare, now: float) -> None:
@@ -148,17 +148,17 @@
     def sweep(self, now: float) -> None:
         """Remove VMs that stopped reporting, and expired reservations."""
         limit = now - self.settings.shared_for_s
-        for vm, teller in list(self.tellers.items()):
+        for vm, teller in list(self.reporting_peers.items()):
             self._settle(teller, 0, now)
             if teller.last_report_at < limit and not teller.reservations:
                 for one in list(teller.server_loads.values()):
                     self._replace(teller, ServerLoad(one.token, 0, 0, False))
-                del self.tellers[vm]
+                del self.reporting_peers[vm]
 
     def _teller(self, vm: VmId, now: float) -> ReportingPeer:
-        teller = self.tellers.get(vm)
+        teller = self.reporting_peers.get(vm)
         if teller is None:
-            teller = self.tellers[vm] = ReportingPeer()
+            teller = self.reporting_peers[vm] = ReportingPeer()
             teller.last_report_at = now
         return teller
 
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -82,7 +82,7 @@
     zone.sweep(2.5)
     assert sums(zone) == {7: (1, 1)}
     zone.sweep(2.7)
-    assert (sums(zone), zone.tellers) == ({}, {})
+    assert (sums(zone), zone.reporting_peers) == ({}, {})
 
 
 def test_only_changes_are_told_until_all_is_due_again():
