--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -103,14 +103,14 @@
     Attributes:
         totals: Sums by token.
         reporting_peers: State of the reports from each VM.
-        granted: Number of reservations made.
+        reservation_count: Number of reservations made.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
         self.totals: dict[int, PeerLoadTotal] = {}
         self.reporting_peers: dict[VmId, ReportingPeer] = {}
-        self.granted = 0
+        self.reservation_count = 0
 
     def take(self, share: LoadShare, now: float) -> None:
         """Apply a load report from another VM.
@@ -138,9 +138,9 @@
 
     def grant(self, vm: VmId, token: int, now: float) -> Reservation:
         """Reserve capacity for a flow that another VM is about to open."""
-        self.granted += 1
+        self.reservation_count += 1
         until = now + self.settings.grant_s
-        granted = Reservation(self.granted, token, until)
+        granted = Reservation(self.reservation_count, token, until)
         self._teller(vm, now).reservations.append(granted)
         self._add(token, 1, 1, 0)
         return granted
