--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -86,7 +86,7 @@
         token = choice.entry.record.token
         if choice.is_full:
             return PlaceAnswer(me, question.flow, token, True, 0)
-        granted = self.load.zone.grant(question.sender, token, now)
+        granted = self.load.zone.reserve(question.sender, token, now)
         return PlaceAnswer(me, question.flow, token, False, granted.number)
 
     def take_answer(self, answer: PlaceAnswer, now: float) -> Held | None:
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -136,7 +136,7 @@
             self._replace(teller, one)
         self._settle(teller, share.included_reservation, now)
 
-    def grant(self, vm: VmId, token: int, now: float) -> Reservation:
+    def reserve(self, vm: VmId, token: int, now: float) -> Reservation:
         """Reserve capacity for a flow that another VM is about to open."""
         self.reservation_count += 1
         until = now + self.settings.grant_s
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -61,7 +61,7 @@
 
 
 def test_a_granted_flow_counts_until_its_vm_tells_of_it(zone):
-    granted = zone.grant("e2", 7, 1.0)
+    granted = zone.reserve("e2", 7, 1.0)
     assert sums(zone) == {7: (1, 1)}
     zone.take(share(work(7), grant=granted.number), 1.05)
     assert sums(zone) == {7: (1, 1)}
@@ -70,7 +70,7 @@
 
 
 def test_a_grant_that_came_to_nothing_counts_for_a_moment(zone):
-    zone.grant("e2", 7, 1.0)
+    zone.reserve("e2", 7, 1.0)
     zone.sweep(1.4)
     assert sums(zone) == {7: (1, 1)}
     zone.sweep(1.6)
