--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -229,7 +229,7 @@
 
     def sweep(self, now: float) -> None:
         """Remove flows, requests and servers that have been idle for too long."""
-        self.zone.sweep(now)
+        self.zone.remove_expired(now)
         idle = now - self.settings.flow_idle_s
         busy = now - self.settings.busy_s
         for key, flow in list(self.flows.items()):
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -145,7 +145,7 @@
         self._add(token, 1, 1, 0)
         return granted
 
-    def sweep(self, now: float) -> None:
+    def remove_expired(self, now: float) -> None:
         """Remove VMs that stopped reporting, and expired reservations."""
         limit = now - self.settings.shared_for_s
         for vm, teller in list(self.reporting_peers.items()):
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -71,17 +71,17 @@
 
 def test_a_grant_that_came_to_nothing_counts_for_a_moment(zone):
     zone.reserve("e2", 7, 1.0)
-    zone.sweep(1.4)
+    zone.remove_expired(1.4)
     assert sums(zone) == {7: (1, 1)}
-    zone.sweep(1.6)
+    zone.remove_expired(1.6)
     assert sums(zone) == {}
 
 
 def test_a_vm_that_fell_silent_is_forgotten_with_its_work(zone):
     zone.take(share(work(7)), 1.0)
-    zone.sweep(2.5)
+    zone.remove_expired(2.5)
     assert sums(zone) == {7: (1, 1)}
-    zone.sweep(2.7)
+    zone.remove_expired(2.7)
     assert (sums(zone), zone.reporting_peers) == ({}, {})
 
 
