Rename _teller to _reporting_peer

Returns the state of a VM that sends load reports.

Rename: libs/tokens/src/kumquatmux_tokens/work.py _teller _reporting_peer

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -118,7 +118,7 @@
         A report that a newer one overtook is ignored. A report number that is lower by
         ``reordered_shares`` or more comes from a restarted process and is accepted.
         """
-        teller = self._teller(share.sender, now)
+        teller = self._reporting_peer(share.sender, now)
         is_old = (
             0
             < teller.last_report_number - share.number
@@ -141,7 +141,7 @@
         self.reservation_count += 1
         until = now + self.settings.grant_s
         granted = Reservation(self.reservation_count, token, until)
-        self._teller(vm, now).reservations.append(granted)
+        self._reporting_peer(vm, now).reservations.append(granted)
         self._add(token, 1, 1, 0)
         return granted
 
@@ -155,7 +155,7 @@
                     self._replace(teller, ServerLoad(one.token, 0, 0, False))
                 del self.reporting_peers[vm]
 
-    def _teller(self, vm: VmId, now: float) -> ReportingPeer:
+    def _reporting_peer(self, vm: VmId, now: float) -> ReportingPeer:
         teller = self.reporting_peers.get(vm)
         if teller is None:
             teller = self.reporting_peers[vm] = ReportingPeer()
