--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -131,9 +131,9 @@
         if share.is_complete:
             named = {one.token for one in share.server_loads}
             for token in [one for one in teller.server_loads if one not in named]:
-                self._replace(teller, ServerLoad(token, 0, 0, False))
+                self._replace_load(teller, ServerLoad(token, 0, 0, False))
         for one in share.server_loads:
-            self._replace(teller, one)
+            self._replace_load(teller, one)
         self._settle(teller, share.included_reservation, now)
 
     def reserve(self, vm: VmId, token: int, now: float) -> Reservation:
@@ -152,7 +152,7 @@
             self._settle(teller, 0, now)
             if teller.last_report_at < limit and not teller.reservations:
                 for one in list(teller.server_loads.values()):
-                    self._replace(teller, ServerLoad(one.token, 0, 0, False))
+                    self._replace_load(teller, ServerLoad(one.token, 0, 0, False))
                 del self.reporting_peers[vm]
 
     def _reporting_peer(self, vm: VmId, now: float) -> ReportingPeer:
@@ -162,7 +162,7 @@
             teller.last_report_at = now
         return teller
 
-    def _replace(self, teller: ReportingPeer, work: ServerLoad) -> None:
+    def _replace_load(self, teller: ReportingPeer, work: ServerLoad) -> None:
         former = teller.server_loads.pop(work.token, None)
         if former is not None:
             self._add(
