Rename _settle to _release_reservations

Names the operation and its object.

Rename: libs/tokens/src/kumquatmux_tokens/work.py _settle _release_reservations

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -134,7 +134,7 @@
                 self._replace_load(teller, ServerLoad(token, 0, 0, False))
         for one in share.server_loads:
             self._replace_load(teller, one)
-        self._settle(teller, share.included_reservation, now)
+        self._release_reservations(teller, share.included_reservation, now)
 
     def reserve(self, vm: VmId, token: int, now: float) -> Reservation:
         """Reserve capacity for a flow that another VM is about to open."""
@@ -149,7 +149,7 @@
         """Remove VMs that stopped reporting, and expired reservations."""
         limit = now - self.settings.shared_for_s
         for vm, teller in list(self.reporting_peers.items()):
-            self._settle(teller, 0, now)
+            self._release_reservations(teller, 0, now)
             if teller.last_report_at < limit and not teller.reservations:
                 for one in list(teller.server_loads.values()):
                     self._replace_load(teller, ServerLoad(one.token, 0, 0, False))
@@ -177,7 +177,9 @@
                 work.token, work.active_requests, work.open_flows, int(work.is_avoided)
             )
 
-    def _settle(self, teller: ReportingPeer, grant: int, now: float) -> None:
+    def _release_reservations(
+        self, teller: ReportingPeer, grant: int, now: float
+    ) -> None:
         kept = []
         for one in teller.reservations:
             if one.number <= grant or one.expires_at <= now:
