--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -142,7 +142,7 @@
         until = now + self.settings.grant_s
         granted = Reservation(self.reservation_count, token, until)
         self._reporting_peer(vm, now).reservations.append(granted)
-        self._add(token, 1, 1, 0)
+        self._add_to_total(token, 1, 1, 0)
         return granted
 
     def remove_expired(self, now: float) -> None:
@@ -165,7 +165,7 @@
     def _replace_load(self, teller: ReportingPeer, work: ServerLoad) -> None:
         former = teller.server_loads.pop(work.token, None)
         if former is not None:
-            self._add(
+            self._add_to_total(
                 work.token,
                 -former.active_requests,
                 -former.open_flows,
@@ -173,7 +173,7 @@
             )
         if work.active_requests or work.open_flows or work.is_avoided:
             teller.server_loads[work.token] = work
-            self._add(
+            self._add_to_total(
                 work.token, work.active_requests, work.open_flows, int(work.is_avoided)
             )
 
@@ -183,12 +183,14 @@
         kept = []
         for one in teller.reservations:
             if one.number <= grant or one.expires_at <= now:
-                self._add(one.token, -1, -1, 0)
+                self._add_to_total(one.token, -1, -1, 0)
             else:
                 kept.append(one)
         teller.reservations = kept
 
-    def _add(self, token: int, busy: int, open_flows: int, avoided: int) -> None:
+    def _add_to_total(
+        self, token: int, busy: int, open_flows: int, avoided: int
+    ) -> None:
         total = self.totals.get(token)
         if total is None:
             total = self.totals[token] = PeerLoadTotal()
