--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -140,10 +140,10 @@
         """Reserve capacity for a flow that another VM is about to open."""
         self.reservation_count += 1
         until = now + self.settings.grant_s
-        granted = Reservation(self.reservation_count, token, until)
-        self._reporting_peer(vm, now).reservations.append(granted)
+        reservation = Reservation(self.reservation_count, token, until)
+        self._reporting_peer(vm, now).reservations.append(reservation)
         self._add_to_total(token, 1, 1, 0)
-        return granted
+        return reservation
 
     def remove_expired(self, now: float) -> None:
         """Remove VMs that stopped reporting, and expired reservations."""
