Rename limit to oldest_allowed

Reports before this time are too old.

Rename: libs/tokens/src/kumquatmux_tokens/work.py limit oldest_allowed

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -147,10 +147,10 @@
 
     def remove_expired(self, now: float) -> None:
         """Remove VMs that stopped reporting, and expired reservations."""
-        limit = now - self.settings.shared_for_s
+        oldest_allowed = now - self.settings.shared_for_s
         for vm, teller in list(self.reporting_peers.items()):
             self._release_reservations(teller, 0, now)
-            if teller.last_report_at < limit and not teller.reservations:
+            if teller.last_report_at < oldest_allowed and not teller.reservations:
                 for one in list(teller.server_loads.values()):
                     self._replace_load(teller, ServerLoad(one.token, 0, 0, False))
                 del self.reporting_peers[vm]
