--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -148,11 +148,11 @@
     def remove_expired(self, now: float) -> None:
         """Remove VMs that stopped reporting, and expired reservations."""
         oldest_allowed = now - self.settings.shared_for_s
-        for vm, teller in list(self.reporting_peers.items()):
-            self._release_reservations(teller, 0, now)
-            if teller.last_report_at < oldest_allowed and not teller.reservations:
-                for one in list(teller.server_loads.values()):
-                    self._replace_load(teller, ServerLoad(one.token, 0, 0, False))
+        for vm, peer in list(self.reporting_peers.items()):
+            self._release_reservations(peer, 0, now)
+            if peer.last_report_at < oldest_allowed and not peer.reservations:
+                for one in list(peer.server_loads.values()):
+                    self._replace_load(peer, ServerLoad(one.token, 0, 0, False))
                 del self.reporting_peers[vm]
 
     def _reporting_peer(self, vm: VmId, now: float) -> ReportingPeer:
