--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -156,11 +156,11 @@
                 del self.reporting_peers[vm]
 
     def _reporting_peer(self, vm: VmId, now: float) -> ReportingPeer:
-        teller = self.reporting_peers.get(vm)
-        if teller is None:
-            teller = self.reporting_peers[vm] = ReportingPeer()
-            teller.last_report_at = now
-        return teller
+        peer = self.reporting_peers.get(vm)
+        if peer is None:
+            peer = self.reporting_peers[vm] = ReportingPeer()
+            peer.last_report_at = now
+        return peer
 
     def _replace_load(self, teller: ReportingPeer, work: ServerLoad) -> None:
         former = teller.server_loads.pop(work.token, None)
