--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -162,8 +162,8 @@
             peer.last_report_at = now
         return peer
 
-    def _replace_load(self, teller: ReportingPeer, work: ServerLoad) -> None:
-        former = teller.server_loads.pop(work.token, None)
+    def _replace_load(self, peer: ReportingPeer, work: ServerLoad) -> None:
+        former = peer.server_loads.pop(work.token, None)
         if former is not None:
             self._add_to_total(
                 work.token,
@@ -172,7 +172,7 @@
                 -former.is_avoided,
             )
         if work.active_requests or work.open_flows or work.is_avoided:
-            teller.server_loads[work.token] = work
+            peer.server_loads[work.token] = work
             self._add_to_total(
                 work.token, work.active_requests, work.open_flows, int(work.is_avoided)
             )
