--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -162,19 +162,19 @@
             peer.last_report_at = now
         return peer
 
-    def _replace_load(self, peer: ReportingPeer, work: ServerLoad) -> None:
-        former = peer.server_loads.pop(work.token, None)
+    def _replace_load(self, peer: ReportingPeer, load: ServerLoad) -> None:
+        former = peer.server_loads.pop(load.token, None)
         if former is not None:
             self._add_to_total(
-                work.token,
+                load.token,
                 -former.active_requests,
                 -former.open_flows,
                 -former.is_avoided,
             )
-        if work.active_requests or work.open_flows or work.is_avoided:
-            peer.server_loads[work.token] = work
+        if load.active_requests or load.open_flows or load.is_avoided:
+            peer.server_loads[load.token] = load
             self._add_to_total(
-                work.token, work.active_requests, work.open_flows, int(work.is_avoided)
+                load.token, load.active_requests, load.open_flows, int(load.is_avoided)
             )
 
     def _release_reservations(
