--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -163,13 +163,13 @@
         return peer
 
     def _replace_load(self, peer: ReportingPeer, load: ServerLoad) -> None:
-        former = peer.server_loads.pop(load.token, None)
-        if former is not None:
+        previous = peer.server_loads.pop(load.token, None)
+        if previous is not None:
             self._add_to_total(
                 load.token,
-                -former.active_requests,
-                -former.open_flows,
-                -former.is_avoided,
+                -previous.active_requests,
+                -previous.open_flows,
+                -previous.is_avoided,
             )
         if load.active_requests or load.open_flows or load.is_avoided:
             peer.server_loads[load.token] = load
