--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -178,15 +178,15 @@
             )
 
     def _release_reservations(
-        self, teller: ReportingPeer, grant: int, now: float
+        self, peer: ReportingPeer, grant: int, now: float
     ) -> None:
         kept = []
-        for one in teller.reservations:
+        for one in peer.reservations:
             if one.number <= grant or one.expires_at <= now:
                 self._add_to_total(one.token, -1, -1, 0)
             else:
                 kept.append(one)
-        teller.reservations = kept
+        peer.reservations = kept
 
     def _add_to_total(
         self, token: int, busy: int, open_flows: int, avoided: int
