Rename grant to included_reservation

Number of the latest reservation that a report includes.

Rename: libs/tokens/src/kumquatmux_tokens/work.py grant included_reservation

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -178,11 +178,11 @@
             )
 
     def _release_reservations(
-        self, peer: ReportingPeer, grant: int, now: float
+        self, peer: ReportingPeer, included_reservation: int, now: float
     ) -> None:
         kept = []
         for one in peer.reservations:
-            if one.number <= grant or one.expires_at <= now:
+            if one.number <= included_reservation or one.expires_at <= now:
                 self._add_to_total(one.token, -1, -1, 0)
             else:
                 kept.append(one)
