--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -181,11 +181,14 @@
         self, peer: ReportingPeer, included_reservation: int, now: float
     ) -> None:
         kept = []
-        for one in peer.reservations:
-            if one.number <= included_reservation or one.expires_at <= now:
-                self._add_to_total(one.token, -1, -1, 0)
+        for reservation in peer.reservations:
+            if (
+                reservation.number <= included_reservation
+                or reservation.expires_at <= now
+            ):
+                self._add_to_total(reservation.token, -1, -1, 0)
             else:
-                kept.append(one)
+                kept.append(reservation)
         peer.reservations = kept
 
     def _add_to_total(
