--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -192,12 +192,12 @@
         peer.reservations = kept
 
     def _add_to_total(
-        self, token: int, busy: int, open_flows: int, avoided: int
+        self, token: int, active_requests: int, open_flows: int, avoided: int
     ) -> None:
         total = self.totals.get(token)
         if total is None:
             total = self.totals[token] = PeerLoadTotal()
-        total.active_requests += busy
+        total.active_requests += active_requests
         total.open_flows += open_flows
         total.avoiding_vms += avoided
         if not (total.active_requests or total.open_flows or total.avoiding_vms):
