Rename avoided to avoiding_vms

Counts VMs that avoid the server.

Rename: libs/tokens/src/kumquatmux_tokens/work.py avoided avoiding_vms

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -192,14 +192,14 @@
         peer.reservations = kept
 
     def _add_to_total(
-        self, token: int, active_requests: int, open_flows: int, avoided: int
+        self, token: int, active_requests: int, open_flows: int, avoiding_vms: int
     ) -> None:
         total = self.totals.get(token)
         if total is None:
             total = self.totals[token] = PeerLoadTotal()
         total.active_requests += active_requests
         total.open_flows += open_flows
-        total.avoiding_vms += avoided
+        total.avoiding_vms += avoiding_vms
         if not (total.active_requests or total.open_flows or total.avoiding_vms):
             del self.totals[token]
 
