--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -118,23 +118,21 @@
         A report that a newer one overtook is ignored. A report number that is lower by
         ``reordered_shares`` or more comes from a restarted process and is accepted.
         """
-        teller = self._reporting_peer(report.sender, now)
+        peer = self._reporting_peer(report.sender, now)
         is_old = (
-            0
-            < teller.last_report_number - report.number
-            < self.settings.reordered_shares
+            0 < peer.last_report_number - report.number < self.settings.reordered_shares
         )
         if is_old:
             return
-        teller.last_report_number = report.number
-        teller.last_report_at = now
+        peer.last_report_number = report.number
+        peer.last_report_at = now
         if report.is_complete:
             named = {one.token for one in report.server_loads}
-            for token in [one for one in teller.server_loads if one not in named]:
-                self._replace_load(teller, ServerLoad(token, 0, 0, False))
+            for token in [one for one in peer.server_loads if one not in named]:
+                self._replace_load(peer, ServerLoad(token, 0, 0, False))
         for one in report.server_loads:
-            self._replace_load(teller, one)
-        self._release_reservations(teller, report.included_reservation, now)
+            self._replace_load(peer, one)
+        self._release_reservations(peer, report.included_reservation, now)
 
     def reserve(self, vm: VmId, token: int, now: float) -> Reservation:
         """Reserve capacity for a flow that another VM is about to open."""
