Rename named to listed_tokens

Tokens that the report lists.

Rename: libs/tokens/src/kumquatmux_tokens/work.py named listed_tokens

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -127,8 +127,8 @@
         peer.last_report_number = report.number
         peer.last_report_at = now
         if report.is_complete:
-            named = {one.token for one in report.server_loads}
-            for token in [one for one in peer.server_loads if one not in named]:
+            listed_tokens = {one.token for one in report.server_loads}
+            for token in [one for one in peer.server_loads if one not in listed_tokens]:
                 self._replace_load(peer, ServerLoad(token, 0, 0, False))
         for one in report.server_loads:
             self._replace_load(peer, one)
