Rename is_old to is_overtaken

A newer report has overtaken this one.

Rename: libs/tokens/src/kumquatmux_tokens/work.py is_old is_overtaken

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -119,10 +119,10 @@
         ``reordered_shares`` or more comes from a restarted process and is accepted.
         """
         peer = self._reporting_peer(report.sender, now)
-        is_old = (
+        is_overtaken = (
             0 < peer.last_report_number - report.number < self.settings.reordered_shares
         )
-        if is_old:
+        if is_overtaken:
             return
         peer.last_report_number = report.number
         peer.last_report_at = now
