Rename Telling to OutgoingReports

State of the reports to one VM.

Rename: libs/tokens/src/kumquatmux_tokens/work.py Telling OutgoingReports

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -25,7 +25,7 @@
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.waiting import Held, HeldTokens, WaitingOpenings
-from kumquatmux_tokens.work import LoadShare, ServerLoad, Telling
+from kumquatmux_tokens.work import LoadShare, OutgoingReports, ServerLoad
 
 ANY_SEQUENCE = 0
 
@@ -56,7 +56,7 @@
         self.held = HeldTokens(settings)
         self.waiting = WaitingOpenings(settings)
         self.placers = Placers(settings)
-        self.tellings: dict[VmId, Telling] = {}
+        self.tellings: dict[VmId, OutgoingReports] = {}
         self.shares = 0
         self.served_at: dict[ServiceName, float] = {}
         self.full_at: dict[ServiceName, float] = {}
@@ -223,8 +223,8 @@
             entries = [one for one in entries if one.record.token not in clashing]
         return select_server(entries, opening, self.load, self.random)
 
-    def _telling(self, vm: VmId) -> Telling:
-        return self.tellings.setdefault(vm, Telling())
+    def _telling(self, vm: VmId) -> OutgoingReports:
+        return self.tellings.setdefault(vm, OutgoingReports())
 
     def _work_by_vm(self, now: float) -> dict[VmId, list[ServerLoad]]:
         """Return the load to report to each other VM.
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -202,7 +202,7 @@
             del self.totals[token]
 
 
-class Telling:
+class OutgoingReports:
     """State of the load reports to one other VM.
 
     Attributes:
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.work import LoadShare, PeerLoad, ServerLoad, Telling
+from kumquatmux_tokens.work import LoadShare, OutgoingReports, PeerLoad, ServerLoad
 
 SETTINGS = TokenSettings("e1", "a")
 
@@ -86,7 +86,7 @@
 
 
 def test_only_changes_are_told_until_all_is_due_again():
-    telling = Telling()
+    telling = OutgoingReports()
     first = telling.news("e1", 1, [work(7), work(8)], 1.0, 0.7)
     assert first.is_complete and len(first.server_loads) == 2
     assert telling.news("e1", 2, [work(7), work(8)], 1.1, 0.7) is None
@@ -97,7 +97,7 @@
 
 
 def test_a_grant_that_was_used_is_told_though_no_work_changed():
-    telling = Telling()
+    telling = OutgoingReports()
     telling.news("e1", 1, [], 1.0, 0.7)
     telling.grant = 4
     assert telling.news("e1", 2, [], 1.1, 0.7).included_reservation == 4
@@ -110,7 +110,7 @@
 
 @given(st.lists(st.tuples(states, st.booleans()), min_size=1, max_size=12))
 def test_whatever_gets_lost_the_next_whole_message_mends(steps):
-    zone, telling = PeerLoad(SETTINGS), Telling()
+    zone, telling = PeerLoad(SETTINGS), OutgoingReports()
     now = 0.0
     for number, (state, is_lost) in enumerate(steps, 1):
         now += 0.05
