--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -206,14 +206,14 @@
     """State of the load reports to one other VM.
 
     Attributes:
-        work: Load last reported, by token.
+        reported_loads: Load last reported, by token.
         grant: Number of the receiver's latest reservation that was used here.
         told_grant: Reservation number in the latest report.
         whole_at: Time of the latest complete report, in monotonic seconds.
     """
 
     def __init__(self) -> None:
-        self.work: dict[int, ServerLoad] = {}
+        self.reported_loads: dict[int, ServerLoad] = {}
         self.grant = 0
         self.told_grant = 0
         self.whole_at = float("-inf")
@@ -241,12 +241,17 @@
             self.whole_at = now
             news = tuple(current.values())
         else:
-            gone = [ServerLoad(one, 0, 0, False) for one in self.work.keys() - current]
+            gone = [
+                ServerLoad(one, 0, 0, False)
+                for one in self.reported_loads.keys() - current
+            ]
             changed = [
-                one for token, one in current.items() if self.work.get(token) != one
+                one
+                for token, one in current.items()
+                if self.reported_loads.get(token) != one
             ]
             news = (*changed, *gone)
-        self.work = current
+        self.reported_loads = current
         if not (is_whole or news or self.grant != self.told_grant):
             return None
         self.told_grant = self.grant
