--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -207,14 +207,15 @@
 
     Attributes:
         reported_loads: Load last reported, by token.
-        grant: Number of the receiver's latest reservation that was used here.
+        used_reservation: Number of the receiver's latest reservation that was used
+            here.
         told_grant: Reservation number in the latest report.
         whole_at: Time of the latest complete report, in monotonic seconds.
     """
 
     def __init__(self) -> None:
         self.reported_loads: dict[int, ServerLoad] = {}
-        self.grant = 0
+        self.used_reservation = 0
         self.told_grant = 0
         self.whole_at = float("-inf")
 
@@ -252,7 +253,7 @@
             ]
             news = (*changed, *gone)
         self.reported_loads = current
-        if not (is_whole or news or self.grant != self.told_grant):
+        if not (is_whole or news or self.used_reservation != self.told_grant):
             return None
-        self.told_grant = self.grant
-        return LoadShare(me, number, is_whole, self.grant, news)
+        self.told_grant = self.used_reservation
+        return LoadShare(me, number, is_whole, self.used_reservation, news)
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -99,7 +99,7 @@
 def test_a_grant_that_was_used_is_told_though_no_work_changed():
     telling = OutgoingReports()
     telling.news("e1", 1, [], 1.0, 0.7)
-    telling.grant = 4
+    telling.used_reservation = 4
     assert telling.news("e1", 2, [], 1.1, 0.7).included_reservation == 4
     assert telling.news("e1", 3, [], 1.2, 0.7) is None
 
