Rename told_grant to reported_reservation

Reservation number in the latest report.

Rename: libs/tokens/src/kumquatmux_tokens/work.py told_grant reported_reservation

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -209,14 +209,14 @@
         reported_loads: Load last reported, by token.
         used_reservation: Number of the receiver's latest reservation that was used
             here.
-        told_grant: Reservation number in the latest report.
+        reported_reservation: Reservation number in the latest report.
         whole_at: Time of the latest complete report, in monotonic seconds.
     """
 
     def __init__(self) -> None:
         self.reported_loads: dict[int, ServerLoad] = {}
         self.used_reservation = 0
-        self.told_grant = 0
+        self.reported_reservation = 0
         self.whole_at = float("-inf")
 
     def news(
@@ -253,7 +253,7 @@
             ]
             news = (*changed, *gone)
         self.reported_loads = current
-        if not (is_whole or news or self.used_reservation != self.told_grant):
+        if not (is_whole or news or self.used_reservation != self.reported_reservation):
             return None
-        self.told_grant = self.used_reservation
+        self.reported_reservation = self.used_reservation
         return LoadShare(me, number, is_whole, self.used_reservation, news)
