--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -210,14 +210,14 @@
         used_reservation: Number of the receiver's latest reservation that was used
             here.
         reported_reservation: Reservation number in the latest report.
-        whole_at: Time of the latest complete report, in monotonic seconds.
+        last_complete_at: Time of the latest complete report, in monotonic seconds.
     """
 
     def __init__(self) -> None:
         self.reported_loads: dict[int, ServerLoad] = {}
         self.used_reservation = 0
         self.reported_reservation = 0
-        self.whole_at = float("-inf")
+        self.last_complete_at = float("-inf")
 
     def news(
         self,
@@ -237,9 +237,9 @@
             every: Seconds between complete reports, which make up for lost ones.
         """
         current = {one.token: one for one in work}
-        is_whole = now - self.whole_at >= every
+        is_whole = now - self.last_complete_at >= every
         if is_whole:
-            self.whole_at = now
+            self.last_complete_at = now
             news = tuple(current.values())
         else:
             gone = [
