--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -133,7 +133,7 @@
             if vm not in self.placers.peers:
                 self.tellings.pop(vm, None)
                 continue
-            share = self._telling(vm).news(
+            share = self._telling(vm).next_report(
                 self.settings.vm,
                 self.shares + 1,
                 groups.get(vm, []),
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -219,7 +219,7 @@
         self.reported_reservation = 0
         self.last_complete_at = float("-inf")
 
-    def news(
+    def next_report(
         self,
         me: VmId,
         number: int,
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -87,21 +87,21 @@
 
 def test_only_changes_are_told_until_all_is_due_again():
     telling = OutgoingReports()
-    first = telling.news("e1", 1, [work(7), work(8)], 1.0, 0.7)
+    first = telling.next_report("e1", 1, [work(7), work(8)], 1.0, 0.7)
     assert first.is_complete and len(first.server_loads) == 2
-    assert telling.news("e1", 2, [work(7), work(8)], 1.1, 0.7) is None
-    news = telling.news("e1", 2, [work(7, 2, 2)], 1.2, 0.7)
+    assert telling.next_report("e1", 2, [work(7), work(8)], 1.1, 0.7) is None
+    news = telling.next_report("e1", 2, [work(7, 2, 2)], 1.2, 0.7)
     assert set(news.server_loads) == {work(7, 2, 2), work(8, 0, 0)}
     assert not news.is_complete
-    assert telling.news("e1", 3, [work(7, 2, 2)], 1.8, 0.7).is_complete
+    assert telling.next_report("e1", 3, [work(7, 2, 2)], 1.8, 0.7).is_complete
 
 
 def test_a_grant_that_was_used_is_told_though_no_work_changed():
     telling = OutgoingReports()
-    telling.news("e1", 1, [], 1.0, 0.7)
+    telling.next_report("e1", 1, [], 1.0, 0.7)
     telling.used_reservation = 4
-    assert telling.news("e1", 2, [], 1.1, 0.7).included_reservation == 4
-    assert telling.news("e1", 3, [], 1.2, 0.7) is None
+    assert telling.next_report("e1", 2, [], 1.1, 0.7).included_reservation == 4
+    assert telling.next_report("e1", 3, [], 1.2, 0.7) is None
 
 
 counts = st.integers(0, 3)
@@ -115,9 +115,9 @@
     for number, (state, is_lost) in enumerate(steps, 1):
         now += 0.05
         told = [work(token, *pair) for token, pair in state.items()]
-        news = telling.news("e1", number, told, now, 0.7)
+        news = telling.next_report("e1", number, told, now, 0.7)
         if news is not None and not is_lost:
             zone.take(news, now)
-    whole = telling.news("e1", len(steps) + 1, told, now + 0.7, 0.7)
+    whole = telling.next_report("e1", len(steps) + 1, told, now + 0.7, 0.7)
     zone.take(whole, now + 0.7)
     assert sums(zone) == {token: pair for token, pair in state.items() if any(pair)}
