Rename me to sender

The parameter is the sender of the report.

Rename: libs/tokens/src/kumquatmux_tokens/work.py me sender

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -221,7 +221,7 @@
 
     def next_report(
         self,
-        me: VmId,
+        sender: VmId,
         number: int,
         work: Iterable[ServerLoad],
         now: float,
@@ -230,7 +230,7 @@
         """Return the load report to send now, None if there is nothing to report.
 
         Args:
-            me: This VM.
+            sender: This VM.
             number: Number of the report.
             work: Current load on all servers that concern the receiver.
             now: Current time in monotonic seconds.
@@ -256,4 +256,4 @@
         if not (is_whole or news or self.used_reservation != self.reported_reservation):
             return None
         self.reported_reservation = self.used_reservation
-        return LoadShare(me, number, is_whole, self.used_reservation, news)
+        return LoadShare(sender, number, is_whole, self.used_reservation, news)
