--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -223,7 +223,7 @@
         self,
         sender: VmId,
         number: int,
-        work: Iterable[ServerLoad],
+        server_loads: Iterable[ServerLoad],
         now: float,
         every: float,
     ) -> LoadShare | None:
@@ -232,11 +232,11 @@
         Args:
             sender: This VM.
             number: Number of the report.
-            work: Current load on all servers that concern the receiver.
+            server_loads: Current load on all servers that concern the receiver.
             now: Current time in monotonic seconds.
             every: Seconds between complete reports, which make up for lost ones.
         """
-        current = {one.token: one for one in work}
+        current = {one.token: one for one in server_loads}
         is_whole = now - self.last_complete_at >= every
         if is_whole:
             self.last_complete_at = now
