Rename every to complete_interval_s

Names the interval and its unit.

Rename: libs/tokens/src/kumquatmux_tokens/work.py every complete_interval_s

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -225,7 +225,7 @@
         number: int,
         server_loads: Iterable[ServerLoad],
         now: float,
-        every: float,
+        complete_interval_s: float,
     ) -> LoadShare | None:
         """Return the load report to send now, None if there is nothing to report.
 
@@ -234,10 +234,11 @@
             number: Number of the report.
             server_loads: Current load on all servers that concern the receiver.
             now: Current time in monotonic seconds.
-            every: Seconds between complete reports, which make up for lost ones.
+            complete_interval_s: Seconds between complete reports, which make up for
+                lost ones.
         """
         current = {one.token: one for one in server_loads}
-        is_whole = now - self.last_complete_at >= every
+        is_whole = now - self.last_complete_at >= complete_interval_s
         if is_whole:
             self.last_complete_at = now
             news = tuple(current.values())
