--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -238,8 +238,8 @@
                 lost ones.
         """
         current = {one.token: one for one in server_loads}
-        is_whole = now - self.last_complete_at >= complete_interval_s
-        if is_whole:
+        is_complete = now - self.last_complete_at >= complete_interval_s
+        if is_complete:
             self.last_complete_at = now
             news = tuple(current.values())
         else:
@@ -254,7 +254,9 @@
             ]
             news = (*changed, *gone)
         self.reported_loads = current
-        if not (is_whole or news or self.used_reservation != self.reported_reservation):
+        if not (
+            is_complete or news or self.used_reservation != self.reported_reservation
+        ):
             return None
         self.reported_reservation = self.used_reservation
-        return LoadShare(sender, number, is_whole, self.used_reservation, news)
+        return LoadShare(sender, number, is_complete, self.used_reservation, news)
