--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -241,7 +241,7 @@
         is_complete = now - self.last_complete_at >= complete_interval_s
         if is_complete:
             self.last_complete_at = now
-            news = tuple(current.values())
+            reported = tuple(current.values())
         else:
             gone = [
                 ServerLoad(one, 0, 0, False)
@@ -252,11 +252,13 @@
                 for token, one in current.items()
                 if self.reported_loads.get(token) != one
             ]
-            news = (*changed, *gone)
+            reported = (*changed, *gone)
         self.reported_loads = current
         if not (
-            is_complete or news or self.used_reservation != self.reported_reservation
+            is_complete
+            or reported
+            or self.used_reservation != self.reported_reservation
         ):
             return None
         self.reported_reservation = self.used_reservation
-        return LoadShare(sender, number, is_complete, self.used_reservation, news)
+        return LoadShare(sender, number, is_complete, self.used_reservation, reported)
