--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -243,7 +243,7 @@
             self.last_complete_at = now
             reported = tuple(current.values())
         else:
-            gone = [
+            removed = [
                 ServerLoad(one, 0, 0, False)
                 for one in self.reported_loads.keys() - current
             ]
@@ -252,7 +252,7 @@
                 for token, one in current.items()
                 if self.reported_loads.get(token) != one
             ]
-            reported = (*changed, *gone)
+            reported = (*changed, *removed)
         self.reported_loads = current
         if not (
             is_complete
