Rename current to current_loads

Holds the current load by token.

Rename: libs/tokens/src/kumquatmux_tokens/work.py current current_loads

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -237,23 +237,23 @@
             complete_interval_s: Seconds between complete reports, which make up for
                 lost ones.
         """
-        current = {one.token: one for one in server_loads}
+        current_loads = {one.token: one for one in server_loads}
         is_complete = now - self.last_complete_at >= complete_interval_s
         if is_complete:
             self.last_complete_at = now
-            reported = tuple(current.values())
+            reported = tuple(current_loads.values())
         else:
             removed = [
                 ServerLoad(one, 0, 0, False)
-                for one in self.reported_loads.keys() - current
+                for one in self.reported_loads.keys() - current_loads
             ]
             changed = [
                 one
-                for token, one in current.items()
+                for token, one in current_loads.items()
                 if self.reported_loads.get(token) != one
             ]
             reported = (*changed, *removed)
-        self.reported_loads = current
+        self.reported_loads = current_loads
         if not (
             is_complete
             or reported
