--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -17,7 +17,7 @@
 from kumquatmux_tokens.work import PeerLoad, ServerLoad
 
 SEQUENCE_SPACE = 1 << 32
-HALF_SPACE = 1 << 31
+HALF_SEQUENCE_SPACE = 1 << 31
 
 
 class Flow:
@@ -306,4 +306,4 @@
 
 def _is_after(place: int, other: int) -> bool:
     """Return whether a sequence number comes after another, allowing for wraparound."""
-    return 0 < (place - other) % SEQUENCE_SPACE < HALF_SPACE
+    return 0 < (place - other) % SEQUENCE_SPACE < HALF_SEQUENCE_SPACE
