--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -25,7 +25,7 @@
 
     Attributes:
         token: Token of the flow's server.
-        tried: Tokens of the servers that the flow's SYN packets were sent to.
+        tried_tokens: Tokens of the servers that the flow's SYN packets were sent to.
         is_open: Whether the caller has sent a packet after its SYN.
         placed_at: Time when the latest SYN packet was forwarded.
         seen_at: Time when the latest packet arrived.
@@ -50,12 +50,12 @@
         "repeats",
         "seen_at",
         "token",
-        "tried",
+        "tried_tokens",
     )
 
     def __init__(self, token: int, now: float) -> None:
         self.token = token
-        self.tried: tuple[int, ...] = ()
+        self.tried_tokens: tuple[int, ...] = ()
         self.is_open = False
         self.placed_at = now
         self.seen_at = now
@@ -135,8 +135,8 @@
             self.work_at(flow.token).open -= 1
             flow.token = token
             self.work_at(token).open += 1
-        if token not in flow.tried:
-            flow.tried = (*flow.tried, token)
+        if token not in flow.tried_tokens:
+            flow.tried_tokens = (*flow.tried_tokens, token)
         flow.placed_at = now
         flow.seen_at = now
         self._set_busy(flow, now)
@@ -267,7 +267,7 @@
             self.work_at(token).open += 1
             if is_busy:
                 self._set_busy(flow, now)
-        if flow.tried:
+        if flow.tried_tokens:
             self._note_handshake(flow, now)
 
     def _note_handshake(self, flow: Flow, now: float) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -167,7 +167,7 @@
             entry = self.directory.by_token.get(flow.token)
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, flow.token)
-        tried = flow.tried if flow is not None and is_copy else ()
+        tried = flow.tried_tokens if flow is not None and is_copy else ()
         if head.flow in self.placers.asked:
             if self.placers.is_open(head.flow, now):
                 return Wait("asked")
@@ -184,7 +184,7 @@
 
     def _place_here(self, head: Head, service: ServiceName, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
-        tried = flow.tried if flow is not None and not flow.is_open else ()
+        tried = flow.tried_tokens if flow is not None and not flow.is_open else ()
         opening = NewFlow(tried, self.load.is_long(head.route), now)
         choice = self._choose(service, opening)
         if choice is None:
@@ -249,7 +249,7 @@
     def _follow(self, head: Head, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
         token = head.token
-        if flow is not None and flow.is_open and token in flow.tried:
+        if flow is not None and flow.is_open and token in flow.tried_tokens:
             token = flow.token
         entry = self.directory.by_token.get(token)
         if entry is None:
