--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -26,7 +26,7 @@
     Attributes:
         token: Token of the flow's server.
         tried_tokens: Tokens of the servers that the flow's SYN packets were sent to.
-        is_open: Whether the caller has sent a packet after its SYN.
+        is_established: Whether the caller has sent a packet after its SYN.
         placed_at: Time when the latest SYN packet was forwarded.
         seen_at: Time when the latest packet arrived.
         busy_since: Time of the latest SYN or new data of the request in progress, None
@@ -45,7 +45,7 @@
         "busy_since",
         "end",
         "has_asked",
-        "is_open",
+        "is_established",
         "placed_at",
         "repeats",
         "seen_at",
@@ -56,7 +56,7 @@
     def __init__(self, token: int, now: float) -> None:
         self.token = token
         self.tried_tokens: tuple[int, ...] = ()
-        self.is_open = False
+        self.is_established = False
         self.placed_at = now
         self.seen_at = now
         self.busy_since: float | None = None
@@ -126,7 +126,7 @@
     def place(self, head: Head, token: int, now: float) -> Flow:
         """Record that a flow's SYN packet goes to a server; return the flow."""
         flow = self.flows.get(head.flow)
-        if flow is None or flow.is_open:
+        if flow is None or flow.is_established:
             self._remove(head.flow)
             flow = self.flows[head.flow] = Flow(token, now)
             self.work_at(token).open += 1
@@ -167,7 +167,7 @@
             flow.has_asked = True
             self.work_at(token).open += 1
         flow.seen_at = now
-        if not flow.is_open:
+        if not flow.is_established:
             self._open(flow, token, head, now)
         if head.is_closing:
             self._remove(head.flow)
@@ -224,7 +224,7 @@
         while self.openings and self.openings[0][0] < limit:
             placed_at, key = self.openings.popleft()
             flow = self.flows.get(key)
-            if flow and not flow.is_open and flow.placed_at == placed_at:
+            if flow and not flow.is_established and flow.placed_at == placed_at:
                 self._set_idle(flow)
 
     def sweep(self, now: float) -> None:
@@ -256,7 +256,7 @@
 
         This is not always the server that the latest SYN packet was sent to.
         """
-        flow.is_open = True
+        flow.is_established = True
         flow.asked_ack = head.acknowledged
         flow.end = head.sequence
         if flow.token != token:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -158,7 +158,7 @@
             return self._without_route(head)
         service = route.service_for(head.flow)
         flow = self.load.flows.get(head.flow)
-        is_copy = flow is not None and not flow.is_open
+        is_copy = flow is not None and not flow.is_established
         is_soon = flow is not None and now - flow.placed_at < self.settings.copy_gap_s
         if flow is not None and is_copy and head.copy and not is_soon:
             if self.load.strike(flow, now):
@@ -184,7 +184,9 @@
 
     def _place_here(self, head: Head, service: ServiceName, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
-        tried = flow.tried_tokens if flow is not None and not flow.is_open else ()
+        tried = (
+            flow.tried_tokens if flow is not None and not flow.is_established else ()
+        )
         opening = NewFlow(tried, self.load.is_long(head.route), now)
         choice = self._choose(service, opening)
         if choice is None:
@@ -249,7 +251,7 @@
     def _follow(self, head: Head, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
         token = head.token
-        if flow is not None and flow.is_open and token in flow.tried_tokens:
+        if flow is not None and flow.is_established and token in flow.tried_tokens:
             token = flow.token
         entry = self.directory.by_token.get(token)
         if entry is None:
