--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -27,7 +27,7 @@
         token: Token of the flow's server.
         tried_tokens: Tokens of the servers that the flow's SYN packets were sent to.
         is_established: Whether the caller has sent a packet after its SYN.
-        placed_at: Time when the latest SYN packet was forwarded.
+        syn_forwarded_at: Time when the latest SYN packet was forwarded.
         seen_at: Time when the latest packet arrived.
         busy_since: Time of the latest SYN or new data of the request in progress, None
             if there is no request in progress.
@@ -46,7 +46,7 @@
         "end",
         "has_asked",
         "is_established",
-        "placed_at",
+        "syn_forwarded_at",
         "repeats",
         "seen_at",
         "token",
@@ -57,7 +57,7 @@
         self.token = token
         self.tried_tokens: tuple[int, ...] = ()
         self.is_established = False
-        self.placed_at = now
+        self.syn_forwarded_at = now
         self.seen_at = now
         self.busy_since: float | None = None
         self.asked_at = now
@@ -137,7 +137,7 @@
             self.work_at(token).open += 1
         if token not in flow.tried_tokens:
             flow.tried_tokens = (*flow.tried_tokens, token)
-        flow.placed_at = now
+        flow.syn_forwarded_at = now
         flow.seen_at = now
         self._set_busy(flow, now)
         self.openings.append((now, head.flow))
@@ -151,7 +151,7 @@
             that nothing is recorded.
         """
         work = self.work_at(flow.token)
-        if work.answered_at > flow.placed_at:
+        if work.answered_at > flow.syn_forwarded_at:
             return False
         span = self.settings.strike_s * 2**work.strikes
         work.strikes += 1
@@ -224,7 +224,7 @@
         while self.openings and self.openings[0][0] < limit:
             placed_at, key = self.openings.popleft()
             flow = self.flows.get(key)
-            if flow and not flow.is_established and flow.placed_at == placed_at:
+            if flow and not flow.is_established and flow.syn_forwarded_at == placed_at:
                 self._set_idle(flow)
 
     def sweep(self, now: float) -> None:
@@ -272,7 +272,7 @@
 
     def _note_handshake(self, flow: Flow, now: float) -> None:
         """Record that the server answered the SYN packet that this VM forwarded."""
-        self.latencies.record("handshake", now - flow.placed_at)
+        self.latencies.record("handshake", now - flow.syn_forwarded_at)
         work = self.work_at(flow.token)
         work.strikes = 0
         work.avoided_until = -math.inf
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -159,7 +159,9 @@
         service = route.service_for(head.flow)
         flow = self.load.flows.get(head.flow)
         is_copy = flow is not None and not flow.is_established
-        is_soon = flow is not None and now - flow.placed_at < self.settings.copy_gap_s
+        is_soon = (
+            flow is not None and now - flow.syn_forwarded_at < self.settings.copy_gap_s
+        )
         if flow is not None and is_copy and head.copy and not is_soon:
             if self.load.strike(flow, now):
                 self._log_strike(head, flow.token)
