--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -28,7 +28,7 @@
         tried_tokens: Tokens of the servers that the flow's SYN packets were sent to.
         is_established: Whether the caller has sent a packet after its SYN.
         syn_forwarded_at: Time when the latest SYN packet was forwarded.
-        seen_at: Time when the latest packet arrived.
+        last_packet_at: Time when the latest packet arrived.
         busy_since: Time of the latest SYN or new data of the request in progress, None
             if there is no request in progress.
         asked_at: Time when the latest new data arrived.
@@ -48,7 +48,7 @@
         "is_established",
         "syn_forwarded_at",
         "repeats",
-        "seen_at",
+        "last_packet_at",
         "token",
         "tried_tokens",
     )
@@ -58,7 +58,7 @@
         self.tried_tokens: tuple[int, ...] = ()
         self.is_established = False
         self.syn_forwarded_at = now
-        self.seen_at = now
+        self.last_packet_at = now
         self.busy_since: float | None = None
         self.asked_at = now
         self.repeats = 0
@@ -138,7 +138,7 @@
         if token not in flow.tried_tokens:
             flow.tried_tokens = (*flow.tried_tokens, token)
         flow.syn_forwarded_at = now
-        flow.seen_at = now
+        flow.last_packet_at = now
         self._set_busy(flow, now)
         self.openings.append((now, head.flow))
         return flow
@@ -166,7 +166,7 @@
             flow.end = head.sequence
             flow.has_asked = True
             self.work_at(token).open += 1
-        flow.seen_at = now
+        flow.last_packet_at = now
         if not flow.is_established:
             self._open(flow, token, head, now)
         if head.is_closing:
@@ -233,7 +233,7 @@
         idle = now - self.settings.flow_idle_s
         busy = now - self.settings.busy_s
         for key, flow in list(self.flows.items()):
-            if flow.seen_at < idle:
+            if flow.last_packet_at < idle:
                 self._remove(key)
             elif flow.busy_since is not None and flow.busy_since < busy:
                 self._set_idle(flow)
