--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -29,8 +29,8 @@
         is_established: Whether the caller has sent a packet after its SYN.
         syn_forwarded_at: Time when the latest SYN packet was forwarded.
         last_packet_at: Time when the latest packet arrived.
-        busy_since: Time of the latest SYN or new data of the request in progress, None
-            if there is no request in progress.
+        request_sent_at: Time of the latest SYN or new data of the request in progress,
+            None if there is no request in progress.
         asked_at: Time when the latest new data arrived.
         repeats: Number of retransmissions of that data without an answer.
         asked_ack: Acknowledgment number when the latest new data or answer was seen; a
@@ -42,7 +42,7 @@
     __slots__ = (
         "asked_ack",
         "asked_at",
-        "busy_since",
+        "request_sent_at",
         "end",
         "has_asked",
         "is_established",
@@ -59,7 +59,7 @@
         self.is_established = False
         self.syn_forwarded_at = now
         self.last_packet_at = now
-        self.busy_since: float | None = None
+        self.request_sent_at: float | None = None
         self.asked_at = now
         self.repeats = 0
         self.asked_ack = 0
@@ -183,8 +183,8 @@
             flow.asked_ack = head.acknowledged
             flow.repeats = 0
             self.work_at(flow.token).answered_at = now
-            if flow.busy_since is not None:
-                self.latencies.record("first-answer", now - flow.busy_since)
+            if flow.request_sent_at is not None:
+                self.latencies.record("first-answer", now - flow.request_sent_at)
             self._set_idle(flow)
         elif head.length:
             flow.repeats += 1
@@ -235,7 +235,7 @@
         for key, flow in list(self.flows.items()):
             if flow.last_packet_at < idle:
                 self._remove(key)
-            elif flow.busy_since is not None and flow.busy_since < busy:
+            elif flow.request_sent_at is not None and flow.request_sent_at < busy:
                 self._set_idle(flow)
         for token, work in list(self.work.items()):
             is_unused = not work.open and work.avoided_until < now
@@ -260,7 +260,7 @@
         flow.asked_ack = head.acknowledged
         flow.end = head.sequence
         if flow.token != token:
-            is_busy = flow.busy_since is not None
+            is_busy = flow.request_sent_at is not None
             self._set_idle(flow)
             self.work_at(flow.token).open -= 1
             flow.token = token
@@ -280,7 +280,7 @@
 
     def _count_request(self, flow: Flow, head: Head) -> None:
         """Update a route's share of requests that follow another on their flow."""
-        if flow.busy_since is not None and flow.has_asked:
+        if flow.request_sent_at is not None and flow.has_asked:
             return
         share = self.long.get(head.route, 0.0)
         step = self.settings.share_step
@@ -288,14 +288,14 @@
         flow.has_asked = True
 
     def _set_busy(self, flow: Flow, now: float) -> None:
-        if flow.busy_since is None:
+        if flow.request_sent_at is None:
             self.work_at(flow.token).busy += 1
-        flow.busy_since = now
+        flow.request_sent_at = now
 
     def _set_idle(self, flow: Flow) -> None:
-        if flow.busy_since is not None:
+        if flow.request_sent_at is not None:
             self.work_at(flow.token).busy -= 1
-            flow.busy_since = None
+            flow.request_sent_at = None
 
     def _remove(self, key: bytes) -> None:
         flow = self.flows.pop(key, None)
