--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -31,7 +31,7 @@
         last_packet_at: Time when the latest packet arrived.
         request_sent_at: Time of the latest SYN or new data of the request in progress,
             None if there is no request in progress.
-        asked_at: Time when the latest new data arrived.
+        last_data_at: Time when the latest new data arrived.
         repeats: Number of retransmissions of that data without an answer.
         asked_ack: Acknowledgment number when the latest new data or answer was seen; a
             later one shows that the server has answered.
@@ -41,7 +41,7 @@
 
     __slots__ = (
         "asked_ack",
-        "asked_at",
+        "last_data_at",
         "request_sent_at",
         "end",
         "has_asked",
@@ -60,7 +60,7 @@
         self.syn_forwarded_at = now
         self.last_packet_at = now
         self.request_sent_at: float | None = None
-        self.asked_at = now
+        self.last_data_at = now
         self.repeats = 0
         self.asked_ack = 0
         self.has_asked = False
@@ -175,7 +175,7 @@
         if head.length and _is_after(head.sequence + head.length, flow.end):
             flow.end = (head.sequence + head.length) % SEQUENCE_SPACE
             flow.asked_ack = head.acknowledged
-            flow.asked_at = now
+            flow.last_data_at = now
             flow.repeats = 0
             self._count_request(flow, head)
             self._set_busy(flow, now)
@@ -198,8 +198,8 @@
         flow = self.flows.get(key)
         if flow is None or flow.repeats < self.settings.silent_repeats:
             return False
-        is_long = now - flow.asked_at >= self.settings.silent_s
-        return is_long and self.work_at(flow.token).answered_at <= flow.asked_at
+        is_long = now - flow.last_data_at >= self.settings.silent_s
+        return is_long and self.work_at(flow.token).answered_at <= flow.last_data_at
 
     def is_struck(self, token: int) -> bool:
         """Return whether a server left a SYN packet unanswered.
