--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -32,7 +32,7 @@
         request_sent_at: Time of the latest SYN or new data of the request in progress,
             None if there is no request in progress.
         last_data_at: Time when the latest new data arrived.
-        repeats: Number of retransmissions of that data without an answer.
+        retransmissions: Number of retransmissions of that data without an answer.
         asked_ack: Acknowledgment number when the latest new data or answer was seen; a
             later one shows that the server has answered.
         has_asked: Whether the caller has sent a request on the flow.
@@ -47,7 +47,7 @@
         "has_asked",
         "is_established",
         "syn_forwarded_at",
-        "repeats",
+        "retransmissions",
         "last_packet_at",
         "token",
         "tried_tokens",
@@ -61,7 +61,7 @@
         self.last_packet_at = now
         self.request_sent_at: float | None = None
         self.last_data_at = now
-        self.repeats = 0
+        self.retransmissions = 0
         self.asked_ack = 0
         self.has_asked = False
         self.end = 0
@@ -176,18 +176,18 @@
             flow.end = (head.sequence + head.length) % SEQUENCE_SPACE
             flow.asked_ack = head.acknowledged
             flow.last_data_at = now
-            flow.repeats = 0
+            flow.retransmissions = 0
             self._count_request(flow, head)
             self._set_busy(flow, now)
         elif _is_after(head.acknowledged, flow.asked_ack):
             flow.asked_ack = head.acknowledged
-            flow.repeats = 0
+            flow.retransmissions = 0
             self.work_at(flow.token).answered_at = now
             if flow.request_sent_at is not None:
                 self.latencies.record("first-answer", now - flow.request_sent_at)
             self._set_idle(flow)
         elif head.length:
-            flow.repeats += 1
+            flow.retransmissions += 1
 
     def is_unanswered(self, key: bytes, now: float) -> bool:
         """Return whether a caller retransmits data and its server answers no caller.
@@ -196,7 +196,7 @@
         takes long does not match, as other callers get answers.
         """
         flow = self.flows.get(key)
-        if flow is None or flow.repeats < self.settings.silent_repeats:
+        if flow is None or flow.retransmissions < self.settings.silent_repeats:
             return False
         is_long = now - flow.last_data_at >= self.settings.silent_s
         return is_long and self.work_at(flow.token).answered_at <= flow.last_data_at
