--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -33,14 +33,14 @@
             None if there is no request in progress.
         last_data_at: Time when the latest new data arrived.
         retransmissions: Number of retransmissions of that data without an answer.
-        asked_ack: Acknowledgment number when the latest new data or answer was seen; a
-            later one shows that the server has answered.
+        baseline_ack_number: Acknowledgment number when the latest new data or answer
+            was seen; a later one shows that the server has answered.
         has_asked: Whether the caller has sent a request on the flow.
         end: Sequence number after the last byte of the caller's data.
     """
 
     __slots__ = (
-        "asked_ack",
+        "baseline_ack_number",
         "last_data_at",
         "request_sent_at",
         "end",
@@ -62,7 +62,7 @@
         self.request_sent_at: float | None = None
         self.last_data_at = now
         self.retransmissions = 0
-        self.asked_ack = 0
+        self.baseline_ack_number = 0
         self.has_asked = False
         self.end = 0
 
@@ -174,13 +174,13 @@
             return
         if head.length and _is_after(head.sequence + head.length, flow.end):
             flow.end = (head.sequence + head.length) % SEQUENCE_SPACE
-            flow.asked_ack = head.acknowledged
+            flow.baseline_ack_number = head.acknowledged
             flow.last_data_at = now
             flow.retransmissions = 0
             self._count_request(flow, head)
             self._set_busy(flow, now)
-        elif _is_after(head.acknowledged, flow.asked_ack):
-            flow.asked_ack = head.acknowledged
+        elif _is_after(head.acknowledged, flow.baseline_ack_number):
+            flow.baseline_ack_number = head.acknowledged
             flow.retransmissions = 0
             self.work_at(flow.token).answered_at = now
             if flow.request_sent_at is not None:
@@ -257,7 +257,7 @@
         This is not always the server that the latest SYN packet was sent to.
         """
         flow.is_established = True
-        flow.asked_ack = head.acknowledged
+        flow.baseline_ack_number = head.acknowledged
         flow.end = head.sequence
         if flow.token != token:
             is_busy = flow.request_sent_at is not None
