Rename has_asked to has_sent_request

The caller has sent a request.

Rename: libs/tokens/src/kumquatmux_tokens/load.py has_asked has_sent_request

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -35,7 +35,7 @@
         retransmissions: Number of retransmissions of that data without an answer.
         baseline_ack_number: Acknowledgment number when the latest new data or answer
             was seen; a later one shows that the server has answered.
-        has_asked: Whether the caller has sent a request on the flow.
+        has_sent_request: Whether the caller has sent a request on the flow.
         end: Sequence number after the last byte of the caller's data.
     """
 
@@ -44,7 +44,7 @@
         "last_data_at",
         "request_sent_at",
         "end",
-        "has_asked",
+        "has_sent_request",
         "is_established",
         "syn_forwarded_at",
         "retransmissions",
@@ -63,7 +63,7 @@
         self.last_data_at = now
         self.retransmissions = 0
         self.baseline_ack_number = 0
-        self.has_asked = False
+        self.has_sent_request = False
         self.end = 0
 
 
@@ -164,7 +164,7 @@
         if flow is None:
             flow = self.flows[head.flow] = Flow(token, now)
             flow.end = head.sequence
-            flow.has_asked = True
+            flow.has_sent_request = True
             self.work_at(token).open += 1
         flow.last_packet_at = now
         if not flow.is_established:
@@ -280,12 +280,12 @@
 
     def _count_request(self, flow: Flow, head: Head) -> None:
         """Update a route's share of requests that follow another on their flow."""
-        if flow.request_sent_at is not None and flow.has_asked:
+        if flow.request_sent_at is not None and flow.has_sent_request:
             return
         share = self.long.get(head.route, 0.0)
         step = self.settings.share_step
-        self.long[head.route] = share + step * (float(flow.has_asked) - share)
-        flow.has_asked = True
+        self.long[head.route] = share + step * (float(flow.has_sent_request) - share)
+        flow.has_sent_request = True
 
     def _set_busy(self, flow: Flow, now: float) -> None:
         if flow.request_sent_at is None:
