Rename end to next_sequence_number

Sequence number after the last byte received.

Rename: libs/tokens/src/kumquatmux_tokens/load.py end next_sequence_number

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -36,14 +36,14 @@
         baseline_ack_number: Acknowledgment number when the latest new data or answer
             was seen; a later one shows that the server has answered.
         has_sent_request: Whether the caller has sent a request on the flow.
-        end: Sequence number after the last byte of the caller's data.
+        next_sequence_number: Sequence number after the last byte of the caller's data.
     """
 
     __slots__ = (
         "baseline_ack_number",
         "last_data_at",
         "request_sent_at",
-        "end",
+        "next_sequence_number",
         "has_sent_request",
         "is_established",
         "syn_forwarded_at",
@@ -64,7 +64,7 @@
         self.retransmissions = 0
         self.baseline_ack_number = 0
         self.has_sent_request = False
-        self.end = 0
+        self.next_sequence_number = 0
 
 
 class Work:
@@ -163,7 +163,7 @@
         flow = self.flows.get(head.flow)
         if flow is None:
             flow = self.flows[head.flow] = Flow(token, now)
-            flow.end = head.sequence
+            flow.next_sequence_number = head.sequence
             flow.has_sent_request = True
             self.work_at(token).open += 1
         flow.last_packet_at = now
@@ -172,8 +172,10 @@
         if head.is_closing:
             self._remove(head.flow)
             return
-        if head.length and _is_after(head.sequence + head.length, flow.end):
-            flow.end = (head.sequence + head.length) % SEQUENCE_SPACE
+        if head.length and _is_after(
+            head.sequence + head.length, flow.next_sequence_number
+        ):
+            flow.next_sequence_number = (head.sequence + head.length) % SEQUENCE_SPACE
             flow.baseline_ack_number = head.acknowledged
             flow.last_data_at = now
             flow.retransmissions = 0
@@ -258,7 +260,7 @@
         """
         flow.is_established = True
         flow.baseline_ack_number = head.acknowledged
-        flow.end = head.sequence
+        flow.next_sequence_number = head.sequence
         if flow.token != token:
             is_busy = flow.request_sent_at is not None
             self._set_idle(flow)
