Rename Work to LocalLoad

Load on one server by flows through this VM.

Rename: libs/tokens/src/kumquatmux_tokens/load.py Work LocalLoad

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -67,7 +67,7 @@
         self.next_sequence_number = 0
 
 
-class Work:
+class LocalLoad:
     """Load that the flows through this VM put on one server.
 
     Attributes:
@@ -105,18 +105,18 @@
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
         self.flows: dict[bytes, Flow] = {}
-        self.work: dict[int, Work] = {}
+        self.work: dict[int, LocalLoad] = {}
         self.zone = PeerLoad(settings)
         self.openings: deque[tuple[float, bytes]] = deque()
         self.long: dict[bytes, float] = {}
         self.silent_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
 
-    def work_at(self, token: int) -> Work:
+    def work_at(self, token: int) -> LocalLoad:
         """Return the load on a server."""
         found = self.work.get(token)
         if found is None:
-            found = self.work[token] = Work()
+            found = self.work[token] = LocalLoad()
         return found
 
     def is_long(self, route: bytes) -> bool:
