--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -165,7 +165,7 @@
     token = entry.record.token
     slots = max(report.slots, 1)
     own_load = load.work.get(token)
-    active_requests = own_load.busy if own_load else 0
+    active_requests = own_load.active_requests if own_load else 0
     open_flows = own_load.open if own_load else 0
     peer_load = load.zone.totals.get(token)
     if peer_load is not None:
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -71,17 +71,17 @@
     """Load that the flows through this VM put on one server.
 
     Attributes:
-        busy: Requests in progress.
+        active_requests: Requests in progress.
         open: Open flows.
         strikes: Consecutive SYN packets that the server left unanswered.
         avoided_until: Time until which new flows go to other servers if possible.
         answered_at: Time of the latest evidence that the server answers.
     """
 
-    __slots__ = ("answered_at", "avoided_until", "busy", "open", "strikes")
+    __slots__ = ("answered_at", "avoided_until", "active_requests", "open", "strikes")
 
     def __init__(self) -> None:
-        self.busy = 0
+        self.active_requests = 0
         self.open = 0
         self.strikes = 0
         self.avoided_until = -math.inf
@@ -248,7 +248,7 @@
         """Return the load to report to the other VMs of the zone."""
         self.expire_openings(now)
         return [
-            ServerLoad(token, one.busy, one.open, one.avoided_until > now)
+            ServerLoad(token, one.active_requests, one.open, one.avoided_until > now)
             for token, one in self.work.items()
             if one.open or one.avoided_until > now
         ]
@@ -291,12 +291,12 @@
 
     def _set_busy(self, flow: Flow, now: float) -> None:
         if flow.request_sent_at is None:
-            self.work_at(flow.token).busy += 1
+            self.work_at(flow.token).active_requests += 1
         flow.request_sent_at = now
 
     def _set_idle(self, flow: Flow) -> None:
         if flow.request_sent_at is not None:
-            self.work_at(flow.token).busy -= 1
+            self.work_at(flow.token).active_requests -= 1
             flow.request_sent_at = None
 
     def _remove(self, key: bytes) -> None:
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -30,7 +30,7 @@
     for record in records:
         directory.store_record(record, known_at)
     for name, count in dict(busy).items():
-        load.work_at(Lifetime(name, 1).token).busy = count
+        load.work_at(Lifetime(name, 1).token).active_requests = count
     for name, count in dict(open_flows).items():
         load.work_at(Lifetime(name, 1).token).open = count
     if shared:
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -178,7 +178,7 @@
 def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
     dead, alive = server("i-1"), server("i-2")
     made = router(dead, alive)
-    made.load.work_at(alive.token).busy = 1
+    made.load.work_at(alive.token).active_requests = 1
     assert made.handle(opening(1), SETTLED).server == dead
     made.handle(opening(1, copy=1), SETTLED + 0.2)
     assert made.handle(opening(2), SETTLED + 0.3).server == alive
@@ -269,9 +269,9 @@
 def test_new_flows_wait_when_every_server_has_much_work_waiting():
     mine = server("i-1")
     made = router(mine)
-    made.load.work_at(mine.token).busy = 8
+    made.load.work_at(mine.token).active_requests = 8
     assert made.handle(opening(), SETTLED) == Wait("no-slot")
-    made.load.work_at(mine.token).busy = 7
+    made.load.work_at(mine.token).active_requests = 7
     assert isinstance(made.handle(opening(), SETTLED), Forward)
 
 
@@ -299,7 +299,7 @@
         if isinstance(decision, Forward):
             assert decision.server.report.service == "entries"
     for work in made.load.work.values():
-        assert work.busy >= 0
+        assert work.active_requests >= 0
         assert work.open >= 0
 
 
