--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -166,7 +166,7 @@
     slots = max(report.slots, 1)
     own_load = load.work.get(token)
     active_requests = own_load.active_requests if own_load else 0
-    open_flows = own_load.open if own_load else 0
+    open_flows = own_load.open_flows if own_load else 0
     peer_load = load.zone.totals.get(token)
     if peer_load is not None:
         active_requests += peer_load.active_requests
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -72,17 +72,23 @@
 
     Attributes:
         active_requests: Requests in progress.
-        open: Open flows.
+        open_flows: Open flows.
         strikes: Consecutive SYN packets that the server left unanswered.
         avoided_until: Time until which new flows go to other servers if possible.
         answered_at: Time of the latest evidence that the server answers.
     """
 
-    __slots__ = ("answered_at", "avoided_until", "active_requests", "open", "strikes")
+    __slots__ = (
+        "answered_at",
+        "avoided_until",
+        "active_requests",
+        "open_flows",
+        "strikes",
+    )
 
     def __init__(self) -> None:
         self.active_requests = 0
-        self.open = 0
+        self.open_flows = 0
         self.strikes = 0
         self.avoided_until = -math.inf
         self.answered_at = -math.inf
@@ -129,12 +135,12 @@
         if flow is None or flow.is_established:
             self._remove(head.flow)
             flow = self.flows[head.flow] = Flow(token, now)
-            self.work_at(token).open += 1
+            self.work_at(token).open_flows += 1
         elif flow.token != token:
             self._set_idle(flow)
-            self.work_at(flow.token).open -= 1
+            self.work_at(flow.token).open_flows -= 1
             flow.token = token
-            self.work_at(token).open += 1
+            self.work_at(token).open_flows += 1
         if token not in flow.tried_tokens:
             flow.tried_tokens = (*flow.tried_tokens, token)
         flow.syn_forwarded_at = now
@@ -165,7 +171,7 @@
             flow = self.flows[head.flow] = Flow(token, now)
             flow.next_sequence_number = head.sequence
             flow.has_sent_request = True
-            self.work_at(token).open += 1
+            self.work_at(token).open_flows += 1
         flow.last_packet_at = now
         if not flow.is_established:
             self._open(flow, token, head, now)
@@ -240,7 +246,7 @@
             elif flow.request_sent_at is not None and flow.request_sent_at < busy:
                 self._set_idle(flow)
         for token, work in list(self.work.items()):
-            is_unused = not work.open and work.avoided_until < now
+            is_unused = not work.open_flows and work.avoided_until < now
             if is_unused and work.answered_at < idle:
                 del self.work[token]
 
@@ -248,9 +254,11 @@
         """Return the load to report to the other VMs of the zone."""
         self.expire_openings(now)
         return [
-            ServerLoad(token, one.active_requests, one.open, one.avoided_until > now)
+            ServerLoad(
+                token, one.active_requests, one.open_flows, one.avoided_until > now
+            )
             for token, one in self.work.items()
-            if one.open or one.avoided_until > now
+            if one.open_flows or one.avoided_until > now
         ]
 
     def _open(self, flow: Flow, token: int, head: Head, now: float) -> None:
@@ -264,9 +272,9 @@
         if flow.token != token:
             is_busy = flow.request_sent_at is not None
             self._set_idle(flow)
-            self.work_at(flow.token).open -= 1
+            self.work_at(flow.token).open_flows -= 1
             flow.token = token
-            self.work_at(token).open += 1
+            self.work_at(token).open_flows += 1
             if is_busy:
                 self._set_busy(flow, now)
         if flow.tried_tokens:
@@ -303,7 +311,7 @@
         flow = self.flows.pop(key, None)
         if flow is not None:
             self._set_idle(flow)
-            self.work_at(flow.token).open -= 1
+            self.work_at(flow.token).open_flows -= 1
 
 
 def _is_after(place: int, other: int) -> bool:
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -32,7 +32,7 @@
     for name, count in dict(busy).items():
         load.work_at(Lifetime(name, 1).token).active_requests = count
     for name, count in dict(open_flows).items():
-        load.work_at(Lifetime(name, 1).token).open = count
+        load.work_at(Lifetime(name, 1).token).open_flows = count
     if shared:
         load.zone.take(shared, NOW)
     choice = select_server(
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -37,7 +37,7 @@
     assert load.work[7].active_requests == 1
     load.note(packet(sequence=1001, acknowledged=1700), 7, 0.05)
     assert load.work[7].active_requests == 0
-    assert load.work[7].open == 1
+    assert load.work[7].open_flows == 1
 
 
 def test_a_retransmission_is_no_further_request(load):
@@ -50,7 +50,7 @@
 def test_a_close_ends_flow_and_work(load):
     load.note(packet(length=900), 7, 0.01)
     load.note(packet(sequence=1001, closing=True), 7, 0.02)
-    assert (load.work[7].active_requests, load.work[7].open) == (0, 0)
+    assert (load.work[7].active_requests, load.work[7].open_flows) == (0, 0)
 
 
 def test_a_request_without_a_sign_is_not_counted_for_long(load):
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -300,7 +300,7 @@
             assert decision.server.report.service == "entries"
     for work in made.load.work.values():
         assert work.active_requests >= 0
-        assert work.open >= 0
+        assert work.open_flows >= 0
 
 
 @pytest.mark.parametrize("weights", [(1, 0), (0, 1), (3, 1)])
