Rename strikes to unanswered_syns

Counts unanswered SYN packets.

Rename: libs/tokens/src/kumquatmux_tokens/load.py strikes unanswered_syns

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -73,7 +73,7 @@
     Attributes:
         active_requests: Requests in progress.
         open_flows: Open flows.
-        strikes: Consecutive SYN packets that the server left unanswered.
+        unanswered_syns: Consecutive SYN packets that the server left unanswered.
         avoided_until: Time until which new flows go to other servers if possible.
         answered_at: Time of the latest evidence that the server answers.
     """
@@ -83,13 +83,13 @@
         "avoided_until",
         "active_requests",
         "open_flows",
-        "strikes",
+        "unanswered_syns",
     )
 
     def __init__(self) -> None:
         self.active_requests = 0
         self.open_flows = 0
-        self.strikes = 0
+        self.unanswered_syns = 0
         self.avoided_until = -math.inf
         self.answered_at = -math.inf
 
@@ -159,8 +159,8 @@
         work = self.work_at(flow.token)
         if work.answered_at > flow.syn_forwarded_at:
             return False
-        span = self.settings.strike_s * 2**work.strikes
-        work.strikes += 1
+        span = self.settings.strike_s * 2**work.unanswered_syns
+        work.unanswered_syns += 1
         work.avoided_until = now + min(span, self.settings.strike_max_s)
         return True
 
@@ -214,7 +214,7 @@
 
         Reports of the other VMs of the zone count too.
         """
-        if self.work_at(token).strikes:
+        if self.work_at(token).unanswered_syns:
             return True
         total = self.zone.totals.get(token)
         return total is not None and total.avoiding_vms > 0
@@ -284,7 +284,7 @@
         """Record that the server answered the SYN packet that this VM forwarded."""
         self.latencies.record("handshake", now - flow.syn_forwarded_at)
         work = self.work_at(flow.token)
-        work.strikes = 0
+        work.unanswered_syns = 0
         work.avoided_until = -math.inf
         work.answered_at = now
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -320,5 +320,5 @@
             "server-unanswered",
             flow=head.flow.hex(),
             token=token,
-            strikes=work.strikes,
+            strikes=work.unanswered_syns,
         )
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -172,7 +172,7 @@
     made = router(server("i-1"), server("i-2"))
     one = made.handle(opening(), SETTLED)
     assert made.handle(opening(copy=1), SETTLED + 0.05) == one
-    assert made.load.work[one.token].strikes == 0
+    assert made.load.work[one.token].unanswered_syns == 0
 
 
 def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
@@ -232,7 +232,7 @@
 def test_a_lost_flow_is_reset_when_opening_packets_go_unanswered():
     mine = server("i-1")
     made = router(mine)
-    made.load.work_at(mine.token).strikes = 1
+    made.load.work_at(mine.token).unanswered_syns = 1
     assert isinstance(repeated(made, mine.token), Reset)
 
 
