--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -75,11 +75,11 @@
         open_flows: Open flows.
         unanswered_syns: Consecutive SYN packets that the server left unanswered.
         avoided_until: Time until which new flows go to other servers if possible.
-        answered_at: Time of the latest evidence that the server answers.
+        last_answer_at: Time of the latest evidence that the server answers.
     """
 
     __slots__ = (
-        "answered_at",
+        "last_answer_at",
         "avoided_until",
         "active_requests",
         "open_flows",
@@ -91,7 +91,7 @@
         self.open_flows = 0
         self.unanswered_syns = 0
         self.avoided_until = -math.inf
-        self.answered_at = -math.inf
+        self.last_answer_at = -math.inf
 
 
 class LoadTable:
@@ -157,7 +157,7 @@
             that nothing is recorded.
         """
         work = self.work_at(flow.token)
-        if work.answered_at > flow.syn_forwarded_at:
+        if work.last_answer_at > flow.syn_forwarded_at:
             return False
         span = self.settings.strike_s * 2**work.unanswered_syns
         work.unanswered_syns += 1
@@ -190,7 +190,7 @@
         elif _is_after(head.acknowledged, flow.baseline_ack_number):
             flow.baseline_ack_number = head.acknowledged
             flow.retransmissions = 0
-            self.work_at(flow.token).answered_at = now
+            self.work_at(flow.token).last_answer_at = now
             if flow.request_sent_at is not None:
                 self.latencies.record("first-answer", now - flow.request_sent_at)
             self._set_idle(flow)
@@ -207,7 +207,7 @@
         if flow is None or flow.retransmissions < self.settings.silent_repeats:
             return False
         is_long = now - flow.last_data_at >= self.settings.silent_s
-        return is_long and self.work_at(flow.token).answered_at <= flow.last_data_at
+        return is_long and self.work_at(flow.token).last_answer_at <= flow.last_data_at
 
     def is_struck(self, token: int) -> bool:
         """Return whether a server left a SYN packet unanswered.
@@ -247,7 +247,7 @@
                 self._set_idle(flow)
         for token, work in list(self.work.items()):
             is_unused = not work.open_flows and work.avoided_until < now
-            if is_unused and work.answered_at < idle:
+            if is_unused and work.last_answer_at < idle:
                 del self.work[token]
 
     def told(self, now: float) -> list[ServerLoad]:
@@ -286,7 +286,7 @@
         work = self.work_at(flow.token)
         work.unanswered_syns = 0
         work.avoided_until = -math.inf
-        work.answered_at = now
+        work.last_answer_at = now
 
     def _count_request(self, flow: Flow, head: Head) -> None:
         """Update a route's share of requests that follow another on their flow."""
