--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -7,7 +7,7 @@
 
 from kumquatmux_registry.records import Phase
 from kumquatmux_tokens.directory import ServerEntry
-from kumquatmux_tokens.load import LoadTable
+from kumquatmux_tokens.load import LoadTracker
 
 LAST_RESORT_LEVEL = 2
 """Lowest priority level at which a server is selected only as a last resort.
@@ -69,7 +69,7 @@
 
 
 def select_server(
-    entries: list[ServerEntry], flow: NewFlow, load: LoadTable, random: Random
+    entries: list[ServerEntry], flow: NewFlow, load: LoadTracker, random: Random
 ) -> Selection | None:
     """Select the server for a new flow.
 
@@ -122,7 +122,7 @@
     )
 
 
-def _beats_other_zones(candidate: Candidate, load: LoadTable) -> bool:
+def _beats_other_zones(candidate: Candidate, load: LoadTracker) -> bool:
     """Return whether no server of another zone can be a better choice."""
     is_cheap = candidate.cost <= load.settings.remote_cost
     return candidate.priority_level == 0 and not candidate.is_full and is_cheap
@@ -139,7 +139,7 @@
     )
 
 
-def _priority_level(entry: ServerEntry, flow: NewFlow, load: LoadTable) -> int:
+def _priority_level(entry: ServerEntry, flow: NewFlow, load: LoadTracker) -> int:
     token = entry.record.token
     own_load = load.work.get(token)
     if token in flow.tried_tokens:
@@ -158,7 +158,7 @@
 
 
 def _evaluate_candidate(
-    entry: ServerEntry, flow: NewFlow, load: LoadTable, tie_breaker: float
+    entry: ServerEntry, flow: NewFlow, load: LoadTracker, tie_breaker: float
 ) -> Candidate:
     settings = load.settings
     report = entry.record.report
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -94,7 +94,7 @@
         self.last_answer_at = -math.inf
 
 
-class LoadTable:
+class LoadTracker:
     """Flows through this VM and the load on each server.
 
     Attributes:
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -6,7 +6,7 @@
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.choice import NewFlow, select_server
 from kumquatmux_tokens.directory import ServerDirectory
-from kumquatmux_tokens.load import LoadTable
+from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
@@ -26,7 +26,7 @@
 def chosen(records, busy=(), opening=SHORT, known_at=0.0, open_flows=(), shared=None):
     """Return the name of the selected server, given requests and flows by name."""
     directory = ServerDirectory()
-    load = LoadTable(TokenSettings("e1", "a"))
+    load = LoadTracker(TokenSettings("e1", "a"))
     for record in records:
         directory.store_record(record, known_at)
     for name, count in dict(busy).items():
@@ -93,7 +93,7 @@
     directory = ServerDirectory()
     directory.store_record(server("i-1"), NOW - 0.05)
     directory.store_record(server("i-2", "b"), 0.0)
-    load = LoadTable(TokenSettings("e1", "a"))
+    load = LoadTracker(TokenSettings("e1", "a"))
     choice = select_server(directory.running_servers("entries"), SHORT, load, Random(1))
     assert choice.entry.record.report.lifetime.name == "i-2"
 
@@ -102,7 +102,7 @@
     directory = ServerDirectory()
     directory.store_record(server("i-1", "b"), 0.0)
     directory.store_record(server("i-2", "c"), 0.0)
-    load = LoadTable(TokenSettings("e1", "a"))
+    load = LoadTracker(TokenSettings("e1", "a"))
     load.silent_zones = frozenset({"b"})
     names = set()
     for seed in range(20):
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatmux_tokens.load import LoadTable
+from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare
@@ -18,7 +18,7 @@
 
 @pytest.fixture
 def load():
-    table = LoadTable(TokenSettings("e1", "a"))
+    table = LoadTracker(TokenSettings("e1", "a"))
     table.place(SYN, 7, 0.0)
     return table
 
@@ -86,7 +86,7 @@
 
 
 def test_what_one_vm_tells_the_other_uses_for_a_while(load):
-    other = LoadTable(TokenSettings("e2", "a"))
+    other = LoadTracker(TokenSettings("e2", "a"))
     other.zone.take(LoadShare("e1", 1, True, 0, tuple(load.told(0.1))), 0.1)
     other.sweep(1.6)
     assert other.zone.totals[7].active_requests == 1
