Rename work to local_loads

Load on each server by flows through this VM.

Rename: libs/tokens/src/kumquatmux_tokens/load.py work local_loads

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -141,7 +141,7 @@
 
 def _priority_level(entry: ServerEntry, flow: NewFlow, load: LoadTracker) -> int:
     token = entry.record.token
-    own_load = load.work.get(token)
+    own_load = load.local_loads.get(token)
     if token in flow.tried_tokens:
         return 4
     if entry.record.is_late:
@@ -164,7 +164,7 @@
     report = entry.record.report
     token = entry.record.token
     slots = max(report.slots, 1)
-    own_load = load.work.get(token)
+    own_load = load.local_loads.get(token)
     active_requests = own_load.active_requests if own_load else 0
     open_flows = own_load.open_flows if own_load else 0
     peer_load = load.zone.totals.get(token)
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -99,7 +99,7 @@
 
     Attributes:
         flows: Flows by flow key.
-        work: Load that flows through this VM cause, by token.
+        local_loads: Load that flows through this VM cause, by token.
         zone: Load that other VMs of the zone report.
         openings: Times and flow keys of forwarded SYN packets, oldest first.
         long: Share of a route's requests that follow another one on their flow.
@@ -111,7 +111,7 @@
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
         self.flows: dict[bytes, Flow] = {}
-        self.work: dict[int, LocalLoad] = {}
+        self.local_loads: dict[int, LocalLoad] = {}
         self.zone = PeerLoad(settings)
         self.openings: deque[tuple[float, bytes]] = deque()
         self.long: dict[bytes, float] = {}
@@ -120,9 +120,9 @@
 
     def work_at(self, token: int) -> LocalLoad:
         """Return the load on a server."""
-        found = self.work.get(token)
+        found = self.local_loads.get(token)
         if found is None:
-            found = self.work[token] = LocalLoad()
+            found = self.local_loads[token] = LocalLoad()
         return found
 
     def is_long(self, route: bytes) -> bool:
@@ -245,10 +245,10 @@
                 self._remove(key)
             elif flow.request_sent_at is not None and flow.request_sent_at < busy:
                 self._set_idle(flow)
-        for token, work in list(self.work.items()):
+        for token, work in list(self.local_loads.items()):
             is_unused = not work.open_flows and work.avoided_until < now
             if is_unused and work.last_answer_at < idle:
-                del self.work[token]
+                del self.local_loads[token]
 
     def told(self, now: float) -> list[ServerLoad]:
         """Return the load to report to the other VMs of the zone."""
@@ -257,7 +257,7 @@
             ServerLoad(
                 token, one.active_requests, one.open_flows, one.avoided_until > now
             )
-            for token, one in self.work.items()
+            for token, one in self.local_loads.items()
             if one.open_flows or one.avoided_until > now
         ]
 
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -172,7 +172,7 @@
     made = router(server("i-1"), server("i-2"))
     one = made.handle(opening(), SETTLED)
     assert made.handle(opening(copy=1), SETTLED + 0.05) == one
-    assert made.load.work[one.token].unanswered_syns == 0
+    assert made.load.local_loads[one.token].unanswered_syns == 0
 
 
 def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
@@ -298,7 +298,7 @@
         decision = made.handle(head, now)
         if isinstance(decision, Forward):
             assert decision.server.report.service == "entries"
-    for work in made.load.work.values():
+    for work in made.load.local_loads.values():
         assert work.active_requests >= 0
         assert work.open_flows >= 0
 
