Rename openings to forwarded_syns

Holds forwarded SYN packets.

Rename: libs/tokens/src/kumquatmux_tokens/load.py openings forwarded_syns

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -101,7 +101,7 @@
         flows: Flows by flow key.
         local_loads: Load that flows through this VM cause, by token.
         zone: Load that other VMs of the zone report.
-        openings: Times and flow keys of forwarded SYN packets, oldest first.
+        forwarded_syns: Times and flow keys of forwarded SYN packets, oldest first.
         long: Share of a route's requests that follow another one on their flow.
         silent_zones: Other zones that do not answer, so that their servers are probably
             unreachable.
@@ -113,7 +113,7 @@
         self.flows: dict[bytes, Flow] = {}
         self.local_loads: dict[int, LocalLoad] = {}
         self.zone = PeerLoad(settings)
-        self.openings: deque[tuple[float, bytes]] = deque()
+        self.forwarded_syns: deque[tuple[float, bytes]] = deque()
         self.long: dict[bytes, float] = {}
         self.silent_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
@@ -146,7 +146,7 @@
         flow.syn_forwarded_at = now
         flow.last_packet_at = now
         self._set_busy(flow, now)
-        self.openings.append((now, head.flow))
+        self.forwarded_syns.append((now, head.flow))
         return flow
 
     def strike(self, flow: Flow, now: float) -> bool:
@@ -229,8 +229,8 @@
         The caller has given up, uses another server, or its packets pass another VM.
         """
         limit = now - self.settings.opening_s
-        while self.openings and self.openings[0][0] < limit:
-            placed_at, key = self.openings.popleft()
+        while self.forwarded_syns and self.forwarded_syns[0][0] < limit:
+            placed_at, key = self.forwarded_syns.popleft()
             flow = self.flows.get(key)
             if flow and not flow.is_established and flow.syn_forwarded_at == placed_at:
                 self._set_idle(flow)
