Rename long to follow_up_share

Share of requests that follow another one on their flow.

Rename: libs/tokens/src/kumquatmux_tokens/load.py long follow_up_share

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -102,7 +102,8 @@
         local_loads: Load that flows through this VM cause, by token.
         zone: Load that other VMs of the zone report.
         forwarded_syns: Times and flow keys of forwarded SYN packets, oldest first.
-        long: Share of a route's requests that follow another one on their flow.
+        follow_up_share: Share of a route's requests that follow another one on their
+            flow.
         silent_zones: Other zones that do not answer, so that their servers are probably
             unreachable.
         latencies: Histograms of the handshake time and the time to the first answer.
@@ -114,7 +115,7 @@
         self.local_loads: dict[int, LocalLoad] = {}
         self.zone = PeerLoad(settings)
         self.forwarded_syns: deque[tuple[float, bytes]] = deque()
-        self.long: dict[bytes, float] = {}
+        self.follow_up_share: dict[bytes, float] = {}
         self.silent_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
 
@@ -127,7 +128,7 @@
 
     def is_long(self, route: bytes) -> bool:
         """Return whether the flows of a route are likely to carry many requests."""
-        return self.long.get(route, 0.0) > self.settings.long_share
+        return self.follow_up_share.get(route, 0.0) > self.settings.long_share
 
     def place(self, head: Head, token: int, now: float) -> Flow:
         """Record that a flow's SYN packet goes to a server; return the flow."""
@@ -292,9 +293,11 @@
         """Update a route's share of requests that follow another on their flow."""
         if flow.request_sent_at is not None and flow.has_sent_request:
             return
-        share = self.long.get(head.route, 0.0)
+        share = self.follow_up_share.get(head.route, 0.0)
         step = self.settings.share_step
-        self.long[head.route] = share + step * (float(flow.has_sent_request) - share)
+        self.follow_up_share[head.route] = share + step * (
+            float(flow.has_sent_request) - share
+        )
         flow.has_sent_request = True
 
     def _set_busy(self, flow: Flow, now: float) -> None:
