Rename work_at to local_load_at

Load on a server by flows through this VM.

Rename: libs/tokens/src/kumquatmux_tokens/load.py work_at local_load_at

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -119,7 +119,7 @@
         self.silent_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
 
-    def work_at(self, token: int) -> LocalLoad:
+    def local_load_at(self, token: int) -> LocalLoad:
         """Return the load on a server."""
         found = self.local_loads.get(token)
         if found is None:
@@ -136,12 +136,12 @@
         if flow is None or flow.is_established:
             self._remove(head.flow)
             flow = self.flows[head.flow] = Flow(token, now)
-            self.work_at(token).open_flows += 1
+            self.local_load_at(token).open_flows += 1
         elif flow.token != token:
             self._set_idle(flow)
-            self.work_at(flow.token).open_flows -= 1
+            self.local_load_at(flow.token).open_flows -= 1
             flow.token = token
-            self.work_at(token).open_flows += 1
+            self.local_load_at(token).open_flows += 1
         if token not in flow.tried_tokens:
             flow.tried_tokens = (*flow.tried_tokens, token)
         flow.syn_forwarded_at = now
@@ -157,7 +157,7 @@
             False if the server has answered a caller since the SYN was forwarded, so
             that nothing is recorded.
         """
-        work = self.work_at(flow.token)
+        work = self.local_load_at(flow.token)
         if work.last_answer_at > flow.syn_forwarded_at:
             return False
         span = self.settings.strike_s * 2**work.unanswered_syns
@@ -172,7 +172,7 @@
             flow = self.flows[head.flow] = Flow(token, now)
             flow.next_sequence_number = head.sequence
             flow.has_sent_request = True
-            self.work_at(token).open_flows += 1
+            self.local_load_at(token).open_flows += 1
         flow.last_packet_at = now
         if not flow.is_established:
             self._open(flow, token, head, now)
@@ -191,7 +191,7 @@
         elif _is_after(head.acknowledged, flow.baseline_ack_number):
             flow.baseline_ack_number = head.acknowledged
             flow.retransmissions = 0
-            self.work_at(flow.token).last_answer_at = now
+            self.local_load_at(flow.token).last_answer_at = now
             if flow.request_sent_at is not None:
                 self.latencies.record("first-answer", now - flow.request_sent_at)
             self._set_idle(flow)
@@ -208,14 +208,17 @@
         if flow is None or flow.retransmissions < self.settings.silent_repeats:
             return False
         is_long = now - flow.last_data_at >= self.settings.silent_s
-        return is_long and self.work_at(flow.token).last_answer_at <= flow.last_data_at
+        return (
+            is_long
+            and self.local_load_at(flow.token).last_answer_at <= flow.last_data_at
+        )
 
     def is_struck(self, token: int) -> bool:
         """Return whether a server left a SYN packet unanswered.
 
         Reports of the other VMs of the zone count too.
         """
-        if self.work_at(token).unanswered_syns:
+        if self.local_load_at(token).unanswered_syns:
             return True
         total = self.zone.totals.get(token)
         return total is not None and total.avoiding_vms > 0
@@ -273,9 +276,9 @@
         if flow.token != token:
             is_busy = flow.request_sent_at is not None
             self._set_idle(flow)
-            self.work_at(flow.token).open_flows -= 1
+            self.local_load_at(flow.token).open_flows -= 1
             flow.token = token
-            self.work_at(token).open_flows += 1
+            self.local_load_at(token).open_flows += 1
             if is_busy:
                 self._set_busy(flow, now)
         if flow.tried_tokens:
@@ -284,7 +287,7 @@
     def _note_handshake(self, flow: Flow, now: float) -> None:
         """Record that the server answered the SYN packet that this VM forwarded."""
         self.latencies.record("handshake", now - flow.syn_forwarded_at)
-        work = self.work_at(flow.token)
+        work = self.local_load_at(flow.token)
         work.unanswered_syns = 0
         work.avoided_until = -math.inf
         work.last_answer_at = now
@@ -302,19 +305,19 @@
 
     def _set_busy(self, flow: Flow, now: float) -> None:
         if flow.request_sent_at is None:
-            self.work_at(flow.token).active_requests += 1
+            self.local_load_at(flow.token).active_requests += 1
         flow.request_sent_at = now
 
     def _set_idle(self, flow: Flow) -> None:
         if flow.request_sent_at is not None:
-            self.work_at(flow.token).active_requests -= 1
+            self.local_load_at(flow.token).active_requests -= 1
             flow.request_sent_at = None
 
     def _remove(self, key: bytes) -> None:
         flow = self.flows.pop(key, None)
         if flow is not None:
             self._set_idle(flow)
-            self.work_at(flow.token).open_flows -= 1
+            self.local_load_at(flow.token).open_flows -= 1
 
 
 def _is_after(place: int, other: int) -> bool:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -315,7 +315,7 @@
         )
 
     def _log_strike(self, head: Head, token: int) -> None:
-        work = self.load.work_at(token)
+        work = self.load.local_load_at(token)
         log_decision(
             "server-unanswered",
             flow=head.flow.hex(),
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -30,9 +30,9 @@
     for record in records:
         directory.store_record(record, known_at)
     for name, count in dict(busy).items():
-        load.work_at(Lifetime(name, 1).token).active_requests = count
+        load.local_load_at(Lifetime(name, 1).token).active_requests = count
     for name, count in dict(open_flows).items():
-        load.work_at(Lifetime(name, 1).token).open_flows = count
+        load.local_load_at(Lifetime(name, 1).token).open_flows = count
     if shared:
         load.zone.take(shared, NOW)
     choice = select_server(
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -178,7 +178,7 @@
 def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
     dead, alive = server("i-1"), server("i-2")
     made = router(dead, alive)
-    made.load.work_at(alive.token).active_requests = 1
+    made.load.local_load_at(alive.token).active_requests = 1
     assert made.handle(opening(1), SETTLED).server == dead
     made.handle(opening(1, copy=1), SETTLED + 0.2)
     assert made.handle(opening(2), SETTLED + 0.3).server == alive
@@ -232,7 +232,7 @@
 def test_a_lost_flow_is_reset_when_opening_packets_go_unanswered():
     mine = server("i-1")
     made = router(mine)
-    made.load.work_at(mine.token).unanswered_syns = 1
+    made.load.local_load_at(mine.token).unanswered_syns = 1
     assert isinstance(repeated(made, mine.token), Reset)
 
 
@@ -269,9 +269,9 @@
 def test_new_flows_wait_when_every_server_has_much_work_waiting():
     mine = server("i-1")
     made = router(mine)
-    made.load.work_at(mine.token).active_requests = 8
+    made.load.local_load_at(mine.token).active_requests = 8
     assert made.handle(opening(), SETTLED) == Wait("no-slot")
-    made.load.work_at(mine.token).active_requests = 7
+    made.load.local_load_at(mine.token).active_requests = 7
     assert isinstance(made.handle(opening(), SETTLED), Forward)
 
 
