--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -126,7 +126,7 @@
             found = self.local_loads[token] = LocalLoad()
         return found
 
-    def is_long(self, route: bytes) -> bool:
+    def expects_many_requests(self, route: bytes) -> bool:
         """Return whether the flows of a route are likely to carry many requests."""
         return self.follow_up_share.get(route, 0.0) > self.settings.long_share
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -180,7 +180,7 @@
         if self._is_full(service, now):
             return Wait("no-slot")
         self.placers.ask(placer, head.flow, now)
-        is_long = self.load.is_long(head.route)
+        is_long = self.load.expects_many_requests(head.route)
         me = self.settings.vm
         return Ask(placer, PlaceQuestion(me, head.flow, service, tried, is_long))
 
@@ -189,7 +189,7 @@
         tried = (
             flow.tried_tokens if flow is not None and not flow.is_established else ()
         )
-        opening = NewFlow(tried, self.load.is_long(head.route), now)
+        opening = NewFlow(tried, self.load.expects_many_requests(head.route), now)
         choice = self._choose(service, opening)
         if choice is None:
             return self._without_server(head, service, now)
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -80,12 +80,12 @@
 
 
 def test_a_route_whose_flows_carry_many_requests_is_long(load):
-    assert not load.is_long(ROUTE)
+    assert not load.expects_many_requests(ROUTE)
     for number in range(40):
         sequence = 101 + number * 10
         load.note(packet(sequence, 500 + number, length=10), 7, number * 1.0)
         load.note(packet(sequence + 10, 501 + number), 7, number + 0.5)
-    assert load.is_long(ROUTE)
+    assert load.expects_many_requests(ROUTE)
 
 
 def test_what_one_vm_tells_the_other_uses_for_a_while(load):
