--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -130,7 +130,7 @@
         """Return whether the flows of a route are likely to carry many requests."""
         return self.follow_up_share.get(route, 0.0) > self.settings.long_share
 
-    def place(self, head: Head, token: int, now: float) -> Flow:
+    def record_syn(self, head: Head, token: int, now: float) -> Flow:
         """Record that a flow's SYN packet goes to a server; return the flow."""
         flow = self.flows.get(head.flow)
         if flow is None or flow.is_established:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -121,7 +121,7 @@
             return self._place_here(head, service, now)
         self._telling(answer.sender).used_reservation = answer.grant
         self.served_at[service] = now
-        self.load.place(head, answer.token, now)
+        self.load.record_syn(head, answer.token, now)
         self._log_placed(head, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
@@ -197,7 +197,7 @@
         if choice.is_full:
             return Wait("no-slot")
         token = choice.entry.record.token
-        self.load.place(head, token, now)
+        self.load.record_syn(head, token, now)
         self._log_placed(
             head,
             choice.entry,
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -19,7 +19,7 @@
 @pytest.fixture
 def load():
     table = LoadTracker(TokenSettings("e1", "a"))
-    table.place(SYN, 7, 0.0)
+    table.record_syn(SYN, 7, 0.0)
     return table
 
 
