Rename strike to record_unanswered_syn

Records an unanswered SYN packet.

Rename: libs/tokens/src/kumquatmux_tokens/load.py strike record_unanswered_syn

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -150,7 +150,7 @@
         self.forwarded_syns.append((now, head.flow))
         return flow
 
-    def strike(self, flow: Flow, now: float) -> bool:
+    def record_unanswered_syn(self, flow: Flow, now: float) -> bool:
         """Record, when a SYN is retransmitted, that its server did not answer.
 
         Returns:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -163,7 +163,7 @@
             flow is not None and now - flow.syn_forwarded_at < self.settings.copy_gap_s
         )
         if flow is not None and is_copy and head.copy and not is_soon:
-            if self.load.strike(flow, now):
+            if self.load.record_unanswered_syn(flow, now):
                 self._log_strike(head, flow.token)
         elif flow is not None and is_copy:
             entry = self.directory.by_token.get(flow.token)
