Rename note to record_packet

Names the operation and its object.

Rename: libs/tokens/src/kumquatmux_tokens/load.py note record_packet

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -165,7 +165,7 @@
         work.avoided_until = now + min(span, self.settings.strike_max_s)
         return True
 
-    def note(self, head: Head, token: int, now: float) -> None:
+    def record_packet(self, head: Head, token: int, now: float) -> None:
         """Update the load from a packet that is not a SYN."""
         flow = self.flows.get(head.flow)
         if flow is None:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -263,7 +263,7 @@
         ended_at = entry.ended_at
         if ended_at is not None and ended_at < now - self.settings.ended_s:
             return Reset(head.acknowledged, "server-ended")
-        self.load.note(head, token, now)
+        self.load.record_packet(head, token, now)
         if self._is_lost(head, entry.record, now):
             self.load.drop(head.flow)
             return Reset(head.acknowledged, "server-silent")
