--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -198,7 +198,7 @@
         elif head.length:
             flow.retransmissions += 1
 
-    def is_unanswered(self, key: bytes, now: float) -> bool:
+    def is_server_unresponsive(self, key: bytes, now: float) -> bool:
         """Return whether a caller retransmits data and its server answers no caller.
 
         Only callers whose packets pass this VM are considered. A request that merely
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -276,7 +276,7 @@
         addition, the server's reports are overdue, its zone is unreachable, or SYN
         packets to it went unanswered.
         """
-        if not head.length or not self.load.is_unanswered(head.flow, now):
+        if not head.length or not self.load.is_server_unresponsive(head.flow, now):
             return False
         is_cut_off = record.report.zone in self.load.silent_zones
         return record.is_late or is_cut_off or self.load.is_struck(record.token)
