--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -213,7 +213,7 @@
             and self.local_load_at(flow.token).last_answer_at <= flow.last_data_at
         )
 
-    def is_struck(self, token: int) -> bool:
+    def has_unanswered_syns(self, token: int) -> bool:
         """Return whether a server left a SYN packet unanswered.
 
         Reports of the other VMs of the zone count too.
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -279,7 +279,9 @@
         if not head.length or not self.load.is_server_unresponsive(head.flow, now):
             return False
         is_cut_off = record.report.zone in self.load.silent_zones
-        return record.is_late or is_cut_off or self.load.is_struck(record.token)
+        return (
+            record.is_late or is_cut_off or self.load.has_unanswered_syns(record.token)
+        )
 
     def _without_route(self, head: Head) -> Decision:
         if not self.routes.number:
