Rename drop to remove_flow

Names the operation and its object.

Rename: libs/tokens/src/kumquatmux_tokens/load.py drop remove_flow

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -223,7 +223,7 @@
         total = self.zone.totals.get(token)
         return total is not None and total.avoiding_vms > 0
 
-    def drop(self, key: bytes) -> None:
+    def remove_flow(self, key: bytes) -> None:
         """Remove a flow and its load."""
         self._remove(key)
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -265,7 +265,7 @@
             return Reset(head.acknowledged, "server-ended")
         self.load.record_packet(head, token, now)
         if self._is_lost(head, entry.record, now):
-            self.load.drop(head.flow)
+            self.load.remove_flow(head.flow)
             return Reset(head.acknowledged, "server-silent")
         return Forward(entry.record, token)
 
