Rename expire_openings to expire_syn_requests

The requests of SYN packets expire.

Rename: libs/tokens/src/kumquatmux_tokens/load.py expire_openings expire_syn_requests

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -227,7 +227,7 @@
         """Remove a flow and its load."""
         self._remove(key)
 
-    def expire_openings(self, now: float) -> None:
+    def expire_syn_requests(self, now: float) -> None:
         """Stop counting the request of a SYN packet if its caller sent nothing more.
 
         The caller has given up, uses another server, or its packets pass another VM.
@@ -256,7 +256,7 @@
 
     def told(self, now: float) -> list[ServerLoad]:
         """Return the load to report to the other VMs of the zone."""
-        self.expire_openings(now)
+        self.expire_syn_requests(now)
         return [
             ServerLoad(
                 token, one.active_requests, one.open_flows, one.avoided_until > now
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -25,9 +25,9 @@
 
 def test_a_placed_flow_counts_as_work_until_its_caller_went_on_elsewhere(load):
     assert load.local_loads[7].active_requests == 1
-    load.expire_openings(0.2)
+    load.expire_syn_requests(0.2)
     assert load.local_loads[7].active_requests == 1
-    load.expire_openings(0.3)
+    load.expire_syn_requests(0.3)
     assert load.local_loads[7].active_requests == 0
 
 
