--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -239,7 +239,7 @@
             if flow and not flow.is_established and flow.syn_forwarded_at == placed_at:
                 self._set_idle(flow)
 
-    def sweep(self, now: float) -> None:
+    def remove_expired(self, now: float) -> None:
         """Remove flows, requests and servers that have been idle for too long."""
         self.zone.remove_expired(now)
         idle = now - self.settings.flow_idle_s
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -58,15 +58,15 @@
 
 def test_a_request_without_a_sign_is_not_counted_for_long(load):
     load.record_packet(packet(length=900), 7, 0.01)
-    load.sweep(0.6)
+    load.remove_expired(0.6)
     assert load.local_loads[7].active_requests == 1
-    load.sweep(0.8)
+    load.remove_expired(0.8)
     assert load.local_loads[7].active_requests == 0
 
 
 def test_an_idle_flow_is_forgotten(load):
     load.record_packet(packet(length=900), 7, 0.01)
-    load.sweep(16.0)
+    load.remove_expired(16.0)
     assert load.flows == {}
 
 
@@ -91,7 +91,7 @@
 def test_what_one_vm_tells_the_other_uses_for_a_while(load):
     other = LoadTracker(TokenSettings("e2", "a"))
     other.zone.take(LoadShare("e1", 1, True, 0, tuple(load.told(0.1))), 0.1)
-    other.sweep(1.6)
+    other.remove_expired(1.6)
     assert other.zone.totals[7].active_requests == 1
-    other.sweep(1.8)
+    other.remove_expired(1.8)
     assert other.zone.totals == {}
