Rename told to reportable_loads

Returns the load to report.

Rename: libs/tokens/src/kumquatmux_tokens/load.py told reportable_loads

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -254,7 +254,7 @@
             if is_unused and work.last_answer_at < idle:
                 del self.local_loads[token]
 
-    def told(self, now: float) -> list[ServerLoad]:
+    def reportable_loads(self, now: float) -> list[ServerLoad]:
         """Return the load to report to the other VMs of the zone."""
         self.expire_syn_requests(now)
         return [
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -236,7 +236,7 @@
         In a zone with more than ``tell_all`` entry VMs, the load on a server is
         reported only to the VM that places the flows of its service.
         """
-        work = self.load.told(now)
+        work = self.load.reportable_loads(now)
         others = [vm for vm in self.placers.peers if vm != self.settings.vm]
         if len(others) < self.settings.tell_all:
             return {vm: work for vm in others}
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -90,7 +90,7 @@
 
 def test_what_one_vm_tells_the_other_uses_for_a_while(load):
     other = LoadTracker(TokenSettings("e2", "a"))
-    other.zone.take(LoadShare("e1", 1, True, 0, tuple(load.told(0.1))), 0.1)
+    other.zone.take(LoadShare("e1", 1, True, 0, tuple(load.reportable_loads(0.1))), 0.1)
     other.remove_expired(1.6)
     assert other.zone.totals[7].active_requests == 1
     other.remove_expired(1.8)
