--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -175,7 +175,7 @@
             self.local_load_at(token).open_flows += 1
         flow.last_packet_at = now
         if not flow.is_established:
-            self._open(flow, token, head, now)
+            self._establish(flow, token, head, now)
         if head.is_closing:
             self._remove(head.flow)
             return
@@ -265,7 +265,7 @@
             if one.open_flows or one.avoided_until > now
         ]
 
-    def _open(self, flow: Flow, token: int, head: Head, now: float) -> None:
+    def _establish(self, flow: Flow, token: int, head: Head, now: float) -> None:
         """Mark a flow as open at the server that the caller continues with.
 
         This is not always the server that the latest SYN packet was sent to.
