Rename _note_handshake to _record_handshake

Names the operation.

Rename: libs/tokens/src/kumquatmux_tokens/load.py _note_handshake _record_handshake

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -282,9 +282,9 @@
             if is_busy:
                 self._set_busy(flow, now)
         if flow.tried_tokens:
-            self._note_handshake(flow, now)
+            self._record_handshake(flow, now)
 
-    def _note_handshake(self, flow: Flow, now: float) -> None:
+    def _record_handshake(self, flow: Flow, now: float) -> None:
         """Record that the server answered the SYN packet that this VM forwarded."""
         self.latencies.record("handshake", now - flow.syn_forwarded_at)
         work = self.local_load_at(flow.token)
