Rename _count_request to _update_follow_up_share

Updates the share of requests that follow another one.

Rename: libs/tokens/src/kumquatmux_tokens/load.py _count_request _update_follow_up_share

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -186,7 +186,7 @@
             flow.baseline_ack_number = head.acknowledged
             flow.last_data_at = now
             flow.retransmissions = 0
-            self._count_request(flow, head)
+            self._update_follow_up_share(flow, head)
             self._set_busy(flow, now)
         elif _is_after(head.acknowledged, flow.baseline_ack_number):
             flow.baseline_ack_number = head.acknowledged
@@ -292,7 +292,7 @@
         work.avoided_until = -math.inf
         work.last_answer_at = now
 
-    def _count_request(self, flow: Flow, head: Head) -> None:
+    def _update_follow_up_share(self, flow: Flow, head: Head) -> None:
         """Update a route's share of requests that follow another on their flow."""
         if flow.request_sent_at is not None and flow.has_sent_request:
             return
