--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -146,7 +146,7 @@
             flow.tried_tokens = (*flow.tried_tokens, token)
         flow.syn_forwarded_at = now
         flow.last_packet_at = now
-        self._set_busy(flow, now)
+        self._start_request(flow, now)
         self.forwarded_syns.append((now, head.flow))
         return flow
 
@@ -187,7 +187,7 @@
             flow.last_data_at = now
             flow.retransmissions = 0
             self._update_follow_up_share(flow, head)
-            self._set_busy(flow, now)
+            self._start_request(flow, now)
         elif _is_after(head.acknowledged, flow.baseline_ack_number):
             flow.baseline_ack_number = head.acknowledged
             flow.retransmissions = 0
@@ -280,7 +280,7 @@
             flow.token = token
             self.local_load_at(token).open_flows += 1
             if is_busy:
-                self._set_busy(flow, now)
+                self._start_request(flow, now)
         if flow.tried_tokens:
             self._record_handshake(flow, now)
 
@@ -303,7 +303,7 @@
         )
         flow.has_sent_request = True
 
-    def _set_busy(self, flow: Flow, now: float) -> None:
+    def _start_request(self, flow: Flow, now: float) -> None:
         if flow.request_sent_at is None:
             self.local_load_at(flow.token).active_requests += 1
         flow.request_sent_at = now
