--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -138,7 +138,7 @@
             flow = self.flows[head.flow] = Flow(token, now)
             self.local_load_at(token).open_flows += 1
         elif flow.token != token:
-            self._set_idle(flow)
+            self._end_request(flow)
             self.local_load_at(flow.token).open_flows -= 1
             flow.token = token
             self.local_load_at(token).open_flows += 1
@@ -194,7 +194,7 @@
             self.local_load_at(flow.token).last_answer_at = now
             if flow.request_sent_at is not None:
                 self.latencies.record("first-answer", now - flow.request_sent_at)
-            self._set_idle(flow)
+            self._end_request(flow)
         elif head.length:
             flow.retransmissions += 1
 
@@ -237,7 +237,7 @@
             placed_at, key = self.forwarded_syns.popleft()
             flow = self.flows.get(key)
             if flow and not flow.is_established and flow.syn_forwarded_at == placed_at:
-                self._set_idle(flow)
+                self._end_request(flow)
 
     def remove_expired(self, now: float) -> None:
         """Remove flows, requests and servers that have been idle for too long."""
@@ -248,7 +248,7 @@
             if flow.last_packet_at < idle:
                 self._remove(key)
             elif flow.request_sent_at is not None and flow.request_sent_at < busy:
-                self._set_idle(flow)
+                self._end_request(flow)
         for token, work in list(self.local_loads.items()):
             is_unused = not work.open_flows and work.avoided_until < now
             if is_unused and work.last_answer_at < idle:
@@ -275,7 +275,7 @@
         flow.next_sequence_number = head.sequence
         if flow.token != token:
             is_busy = flow.request_sent_at is not None
-            self._set_idle(flow)
+            self._end_request(flow)
             self.local_load_at(flow.token).open_flows -= 1
             flow.token = token
             self.local_load_at(token).open_flows += 1
@@ -308,7 +308,7 @@
             self.local_load_at(flow.token).active_requests += 1
         flow.request_sent_at = now
 
-    def _set_idle(self, flow: Flow) -> None:
+    def _end_request(self, flow: Flow) -> None:
         if flow.request_sent_at is not None:
             self.local_load_at(flow.token).active_requests -= 1
             flow.request_sent_at = None
@@ -316,7 +316,7 @@
     def _remove(self, key: bytes) -> None:
         flow = self.flows.pop(key, None)
         if flow is not None:
-            self._set_idle(flow)
+            self._end_request(flow)
             self.local_load_at(flow.token).open_flows -= 1
 
 
