Rename _is_after to _is_sequence_after

Compares sequence numbers.

Rename: libs/tokens/src/kumquatmux_tokens/load.py _is_after _is_sequence_after

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -179,7 +179,7 @@
         if head.is_closing:
             self._remove(head.flow)
             return
-        if head.length and _is_after(
+        if head.length and _is_sequence_after(
             head.sequence + head.length, flow.next_sequence_number
         ):
             flow.next_sequence_number = (head.sequence + head.length) % SEQUENCE_SPACE
@@ -188,7 +188,7 @@
             flow.retransmissions = 0
             self._update_follow_up_share(flow, head)
             self._start_request(flow, now)
-        elif _is_after(head.acknowledged, flow.baseline_ack_number):
+        elif _is_sequence_after(head.acknowledged, flow.baseline_ack_number):
             flow.baseline_ack_number = head.acknowledged
             flow.retransmissions = 0
             self.local_load_at(flow.token).last_answer_at = now
@@ -320,6 +320,6 @@
             self.local_load_at(flow.token).open_flows -= 1
 
 
-def _is_after(place: int, other: int) -> bool:
+def _is_sequence_after(place: int, other: int) -> bool:
     """Return whether a sequence number comes after another, allowing for wraparound."""
     return 0 < (place - other) % SEQUENCE_SPACE < HALF_SEQUENCE_SPACE
