Rename other to reference

The sequence number to compare with.

Rename: libs/tokens/src/kumquatmux_tokens/load.py other reference

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -320,6 +320,6 @@
             self.local_load_at(flow.token).open_flows -= 1
 
 
-def _is_sequence_after(number: int, other: int) -> bool:
+def _is_sequence_after(number: int, reference: int) -> bool:
     """Return whether a sequence number comes after another, allowing for wraparound."""
-    return 0 < (number - other) % SEQUENCE_SPACE < HALF_SEQUENCE_SPACE
+    return 0 < (number - reference) % SEQUENCE_SPACE < HALF_SEQUENCE_SPACE
