--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -157,12 +157,12 @@
             False if the server has answered a caller since the SYN was forwarded, so
             that nothing is recorded.
         """
-        work = self.local_load_at(flow.token)
-        if work.last_answer_at > flow.syn_forwarded_at:
+        load = self.local_load_at(flow.token)
+        if load.last_answer_at > flow.syn_forwarded_at:
             return False
-        span = self.settings.strike_s * 2**work.unanswered_syns
-        work.unanswered_syns += 1
-        work.avoided_until = now + min(span, self.settings.strike_max_s)
+        span = self.settings.strike_s * 2**load.unanswered_syns
+        load.unanswered_syns += 1
+        load.avoided_until = now + min(span, self.settings.strike_max_s)
         return True
 
     def record_packet(self, head: Head, token: int, now: float) -> None:
