--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -160,9 +160,9 @@
         load = self.local_load_at(flow.token)
         if load.last_answer_at > flow.syn_forwarded_at:
             return False
-        span = self.settings.strike_s * 2**load.unanswered_syns
+        backoff_s = self.settings.strike_s * 2**load.unanswered_syns
         load.unanswered_syns += 1
-        load.avoided_until = now + min(span, self.settings.strike_max_s)
+        load.avoided_until = now + min(backoff_s, self.settings.strike_max_s)
         return True
 
     def record_packet(self, head: Head, token: int, now: float) -> None:
