--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -287,10 +287,10 @@
     def _record_handshake(self, flow: Flow, now: float) -> None:
         """Record that the server answered the SYN packet that this VM forwarded."""
         self.latencies.record("handshake", now - flow.syn_forwarded_at)
-        work = self.local_load_at(flow.token)
-        work.unanswered_syns = 0
-        work.avoided_until = -math.inf
-        work.last_answer_at = now
+        load = self.local_load_at(flow.token)
+        load.unanswered_syns = 0
+        load.avoided_until = -math.inf
+        load.last_answer_at = now
 
     def _update_follow_up_share(self, flow: Flow, head: Head) -> None:
         """Update a route's share of requests that follow another on their flow."""
