--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -249,9 +249,9 @@
                 self._remove(key)
             elif flow.request_sent_at is not None and flow.request_sent_at < busy:
                 self._end_request(flow)
-        for token, work in list(self.local_loads.items()):
-            is_unused = not work.open_flows and work.avoided_until < now
-            if is_unused and work.last_answer_at < idle:
+        for token, load in list(self.local_loads.items()):
+            is_unused = not load.open_flows and load.avoided_until < now
+            if is_unused and load.last_answer_at < idle:
                 del self.local_loads[token]
 
     def reportable_loads(self, now: float) -> list[ServerLoad]:
