Rename idle to idle_limit

Flows without a packet since this time are removed.

Rename: libs/tokens/src/kumquatmux_tokens/load.py idle idle_limit

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -242,16 +242,16 @@
     def remove_expired(self, now: float) -> None:
         """Remove flows, requests and servers that have been idle for too long."""
         self.zone.remove_expired(now)
-        idle = now - self.settings.flow_idle_s
+        idle_limit = now - self.settings.flow_idle_s
         busy = now - self.settings.busy_s
         for key, flow in list(self.flows.items()):
-            if flow.last_packet_at < idle:
+            if flow.last_packet_at < idle_limit:
                 self._remove(key)
             elif flow.request_sent_at is not None and flow.request_sent_at < busy:
                 self._end_request(flow)
         for token, load in list(self.local_loads.items()):
             is_unused = not load.open_flows and load.avoided_until < now
-            if is_unused and load.last_answer_at < idle:
+            if is_unused and load.last_answer_at < idle_limit:
                 del self.local_loads[token]
 
     def reportable_loads(self, now: float) -> list[ServerLoad]:
