Rename busy to request_limit

Requests from before this time are no longer counted.

Rename: libs/tokens/src/kumquatmux_tokens/load.py busy request_limit

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -243,11 +243,14 @@
         """Remove flows, requests and servers that have been idle for too long."""
         self.zone.remove_expired(now)
         idle_limit = now - self.settings.flow_idle_s
-        busy = now - self.settings.busy_s
+        request_limit = now - self.settings.busy_s
         for key, flow in list(self.flows.items()):
             if flow.last_packet_at < idle_limit:
                 self._remove(key)
-            elif flow.request_sent_at is not None and flow.request_sent_at < busy:
+            elif (
+                flow.request_sent_at is not None
+                and flow.request_sent_at < request_limit
+            ):
                 self._end_request(flow)
         for token, load in list(self.local_loads.items()):
             is_unused = not load.open_flows and load.avoided_until < now
