--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -244,9 +244,9 @@
         self.zone.remove_expired(now)
         idle_limit = now - self.settings.flow_idle_s
         request_limit = now - self.settings.busy_s
-        for key, flow in list(self.flows.items()):
+        for flow_key, flow in list(self.flows.items()):
             if flow.last_packet_at < idle_limit:
-                self._remove(key)
+                self._remove(flow_key)
             elif (
                 flow.request_sent_at is not None
                 and flow.request_sent_at < request_limit
