--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -198,13 +198,13 @@
         elif head.length:
             flow.retransmissions += 1
 
-    def is_server_unresponsive(self, key: bytes, now: float) -> bool:
+    def is_server_unresponsive(self, flow_key: bytes, now: float) -> bool:
         """Return whether a caller retransmits data and its server answers no caller.
 
         Only callers whose packets pass this VM are considered. A request that merely
         takes long does not match, as other callers get answers.
         """
-        flow = self.flows.get(key)
+        flow = self.flows.get(flow_key)
         if flow is None or flow.retransmissions < self.settings.silent_repeats:
             return False
         is_long = now - flow.last_data_at >= self.settings.silent_s
