--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -207,9 +207,9 @@
         flow = self.flows.get(flow_key)
         if flow is None or flow.retransmissions < self.settings.silent_repeats:
             return False
-        is_long = now - flow.last_data_at >= self.settings.silent_s
+        is_overdue = now - flow.last_data_at >= self.settings.silent_s
         return (
-            is_long
+            is_overdue
             and self.local_load_at(flow.token).last_answer_at <= flow.last_data_at
         )
 
