--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -223,9 +223,9 @@
         total = self.zone.totals.get(token)
         return total is not None and total.avoiding_vms > 0
 
-    def remove_flow(self, key: bytes) -> None:
+    def remove_flow(self, flow_key: bytes) -> None:
         """Remove a flow and its load."""
-        self._remove(key)
+        self._remove(flow_key)
 
     def expire_syn_requests(self, now: float) -> None:
         """Stop counting the request of a SYN packet if its caller sent nothing more.
