--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -316,8 +316,8 @@
             self.local_load_at(flow.token).active_requests -= 1
             flow.request_sent_at = None
 
-    def _remove(self, key: bytes) -> None:
-        flow = self.flows.pop(key, None)
+    def _remove(self, flow_key: bytes) -> None:
+        flow = self.flows.pop(flow_key, None)
         if flow is not None:
             self._end_request(flow)
             self.local_load_at(flow.token).open_flows -= 1
