--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -234,8 +234,8 @@
         """
         limit = now - self.settings.opening_s
         while self.forwarded_syns and self.forwarded_syns[0][0] < limit:
-            placed_at, key = self.forwarded_syns.popleft()
-            flow = self.flows.get(key)
+            placed_at, flow_key = self.forwarded_syns.popleft()
+            flow = self.flows.get(flow_key)
             if flow and not flow.is_established and flow.syn_forwarded_at == placed_at:
                 self._end_request(flow)
 
