Rename placed_at to forwarded_at

Time when the SYN packet was forwarded.

Rename: libs/tokens/src/kumquatmux_tokens/load.py placed_at forwarded_at

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -234,9 +234,13 @@
         """
         limit = now - self.settings.opening_s
         while self.forwarded_syns and self.forwarded_syns[0][0] < limit:
-            placed_at, flow_key = self.forwarded_syns.popleft()
+            forwarded_at, flow_key = self.forwarded_syns.popleft()
             flow = self.flows.get(flow_key)
-            if flow and not flow.is_established and flow.syn_forwarded_at == placed_at:
+            if (
+                flow
+                and not flow.is_established
+                and flow.syn_forwarded_at == forwarded_at
+            ):
                 self._end_request(flow)
 
     def remove_expired(self, now: float) -> None:
