--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -220,8 +220,8 @@
         """
         if self.local_load_at(token).unanswered_syns:
             return True
-        total = self.zone.totals.get(token)
-        return total is not None and total.avoiding_vms > 0
+        peer_load = self.zone.totals.get(token)
+        return peer_load is not None and peer_load.avoiding_vms > 0
 
     def remove_flow(self, flow_key: bytes) -> None:
         """Remove a flow and its load."""
