--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -281,12 +281,12 @@
         flow.baseline_ack_number = head.acknowledged
         flow.next_sequence_number = head.sequence
         if flow.token != token:
-            is_busy = flow.request_sent_at is not None
+            has_request = flow.request_sent_at is not None
             self._end_request(flow)
             self.local_load_at(flow.token).open_flows -= 1
             flow.token = token
             self.local_load_at(token).open_flows += 1
-            if is_busy:
+            if has_request:
                 self._start_request(flow, now)
         if flow.tried_tokens:
             self._record_handshake(flow, now)
