Rename step to smoothing

Usual term for the weight in a moving average.

Rename: libs/tokens/src/kumquatmux_tokens/load.py step smoothing

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -304,8 +304,8 @@
         if flow.request_sent_at is not None and flow.has_sent_request:
             return
         share = self.follow_up_share.get(head.route, 0.0)
-        step = self.settings.share_step
-        self.follow_up_share[head.route] = share + step * (
+        smoothing = self.settings.share_step
+        self.follow_up_share[head.route] = share + smoothing * (
             float(flow.has_sent_request) - share
         )
         flow.has_sent_request = True
