--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -121,10 +121,10 @@
 
     def local_load_at(self, token: int) -> LocalLoad:
         """Return the load on a server."""
-        found = self.local_loads.get(token)
-        if found is None:
-            found = self.local_loads[token] = LocalLoad()
-        return found
+        load = self.local_loads.get(token)
+        if load is None:
+            load = self.local_loads[token] = LocalLoad()
+        return load
 
     def expects_many_requests(self, route: bytes) -> bool:
         """Return whether the flows of a route are likely to carry many requests."""
