--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -148,7 +148,7 @@
     def sweep(self, now: float) -> None:
         """Remove expired flows, servers, buffered packets and placement requests."""
         self.load.remove_expired(now)
-        self.directory.remove_ended(now - 2 * self.settings.flow_idle_s - 90.0)
+        self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
         self.held.sweep(now)
         self.placers.sweep(now)
 
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -13,7 +13,7 @@
     Attributes:
         vm: This VM.
         zone: Availability zone of this VM.
-        flow_idle_s: Seconds without a packet after which a flow is removed.
+        flow_idle_timeout_s: Seconds without a packet after which a flow is removed.
         busy_s: Seconds without a sign of an answer after which a request no longer
             counts as in progress.
         opening_s: Seconds after its SYN packet was forwarded within which the caller
@@ -78,7 +78,7 @@
 
     vm: VmId
     zone: ZoneName
-    flow_idle_s: float = 15.0
+    flow_idle_timeout_s: float = 15.0
     busy_s: float = 0.7
     opening_s: float = 0.25
     shared_for_s: float = 1.6
