--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -247,7 +247,7 @@
         """Remove flows, requests and servers that have been idle for too long."""
         self.zone.remove_expired(now)
         idle_limit = now - self.settings.flow_idle_timeout_s
-        request_limit = now - self.settings.busy_s
+        request_limit = now - self.settings.request_timeout_s
         for flow_key, flow in list(self.flows.items()):
             if flow.last_packet_at < idle_limit:
                 self._remove(flow_key)
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -14,8 +14,8 @@
         vm: This VM.
         zone: Availability zone of this VM.
         flow_idle_timeout_s: Seconds without a packet after which a flow is removed.
-        busy_s: Seconds without a sign of an answer after which a request no longer
-            counts as in progress.
+        request_timeout_s: Seconds without a sign of an answer after which a request no
+            longer counts as in progress.
         opening_s: Seconds after its SYN packet was forwarded within which the caller
             must send another packet; otherwise its flow no longer counts as a request.
         shared_for_s: Seconds after which the load reported by a silent VM is discarded;
@@ -79,7 +79,7 @@
     vm: VmId
     zone: ZoneName
     flow_idle_timeout_s: float = 15.0
-    busy_s: float = 0.7
+    request_timeout_s: float = 0.7
     opening_s: float = 0.25
     shared_for_s: float = 1.6
     share_all_s: float = 0.7
