--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -232,7 +232,7 @@
 
         The caller has given up, uses another server, or its packets pass another VM.
         """
-        limit = now - self.settings.opening_s
+        limit = now - self.settings.handshake_timeout_s
         while self.forwarded_syns and self.forwarded_syns[0][0] < limit:
             forwarded_at, flow_key = self.forwarded_syns.popleft()
             flow = self.flows.get(flow_key)
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -16,8 +16,9 @@
         flow_idle_timeout_s: Seconds without a packet after which a flow is removed.
         request_timeout_s: Seconds without a sign of an answer after which a request no
             longer counts as in progress.
-        opening_s: Seconds after its SYN packet was forwarded within which the caller
-            must send another packet; otherwise its flow no longer counts as a request.
+        handshake_timeout_s: Seconds after its SYN packet was forwarded within which the
+            caller must send another packet; otherwise its flow no longer counts as a
+            request.
         shared_for_s: Seconds after which the load reported by a silent VM is discarded;
             longer than the interval between complete reports.
         share_all_s: Seconds between complete load reports, which make up for lost ones.
@@ -80,7 +81,7 @@
     zone: ZoneName
     flow_idle_timeout_s: float = 15.0
     request_timeout_s: float = 0.7
-    opening_s: float = 0.25
+    handshake_timeout_s: float = 0.25
     shared_for_s: float = 1.6
     share_all_s: float = 0.7
     reordered_shares: int = 16
