--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -19,8 +19,8 @@
         handshake_timeout_s: Seconds after its SYN packet was forwarded within which the
             caller must send another packet; otherwise its flow no longer counts as a
             request.
-        shared_for_s: Seconds after which the load reported by a silent VM is discarded;
-            longer than the interval between complete reports.
+        load_report_expiry_s: Seconds after which the load reported by a silent VM is
+            discarded; longer than the interval between complete reports.
         share_all_s: Seconds between complete load reports, which make up for lost ones.
         reordered_shares: Report numbers by which an overtaken report may be behind; a
             larger step back means that the sender has restarted.
@@ -82,7 +82,7 @@
     flow_idle_timeout_s: float = 15.0
     request_timeout_s: float = 0.7
     handshake_timeout_s: float = 0.25
-    shared_for_s: float = 1.6
+    load_report_expiry_s: float = 1.6
     share_all_s: float = 0.7
     reordered_shares: int = 16
     tell_all: int = 4
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -145,7 +145,7 @@
 
     def remove_expired(self, now: float) -> None:
         """Remove VMs that stopped reporting, and expired reservations."""
-        oldest_allowed = now - self.settings.shared_for_s
+        oldest_allowed = now - self.settings.load_report_expiry_s
         for vm, peer in list(self.reporting_peers.items()):
             self._release_reservations(peer, 0, now)
             if peer.last_report_at < oldest_allowed and not peer.reservations:
