--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -138,7 +138,7 @@
                 self.shares + 1,
                 groups.get(vm, []),
                 now,
-                self.settings.share_all_s,
+                self.settings.complete_report_interval_s,
             )
             if share is not None:
                 self.shares += 1
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -21,7 +21,8 @@
             request.
         load_report_expiry_s: Seconds after which the load reported by a silent VM is
             discarded; longer than the interval between complete reports.
-        share_all_s: Seconds between complete load reports, which make up for lost ones.
+        complete_report_interval_s: Seconds between complete load reports, which make up
+            for lost ones.
         reordered_shares: Report numbers by which an overtaken report may be behind; a
             larger step back means that the sender has restarted.
         tell_all: Largest number of entry VMs in a zone at which each reports its whole
@@ -83,7 +84,7 @@
     request_timeout_s: float = 0.7
     handshake_timeout_s: float = 0.25
     load_report_expiry_s: float = 1.6
-    share_all_s: float = 0.7
+    complete_report_interval_s: float = 0.7
     reordered_shares: int = 16
     tell_all: int = 4
     answer_s: float = 0.03
