--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -23,8 +23,8 @@
             discarded; longer than the interval between complete reports.
         complete_report_interval_s: Seconds between complete load reports, which make up
             for lost ones.
-        reordered_shares: Report numbers by which an overtaken report may be behind; a
-            larger step back means that the sender has restarted.
+        max_report_reordering: Report numbers by which an overtaken report may be
+            behind; a larger step back means that the sender has restarted.
         tell_all: Largest number of entry VMs in a zone at which each reports its whole
             load to all others; in a larger zone only placement coordinators get
             reports.
@@ -85,7 +85,7 @@
     handshake_timeout_s: float = 0.25
     load_report_expiry_s: float = 1.6
     complete_report_interval_s: float = 0.7
-    reordered_shares: int = 16
+    max_report_reordering: int = 16
     tell_all: int = 4
     answer_s: float = 0.03
     silent_placer_s: float = 1.0
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -116,11 +116,14 @@
         """Apply a load report from another VM.
 
         A report that a newer one overtook is ignored. A report number that is lower by
-        ``reordered_shares`` or more comes from a restarted process and is accepted.
+        ``max_report_reordering`` or more comes from a restarted process and is
+        accepted.
         """
         peer = self._reporting_peer(report.sender, now)
         is_overtaken = (
-            0 < peer.last_report_number - report.number < self.settings.reordered_shares
+            0
+            < peer.last_report_number - report.number
+            < self.settings.max_report_reordering
         )
         if is_overtaken:
             return
