--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -233,12 +233,12 @@
     def _work_by_vm(self, now: float) -> dict[VmId, list[ServerLoad]]:
         """Return the load to report to each other VM.
 
-        In a zone with more than ``tell_all`` entry VMs, the load on a server is
-        reported only to the VM that places the flows of its service.
+        In a zone with more than ``full_reporting_max_vms`` entry VMs, the load on a
+        server is reported only to the VM that places the flows of its service.
         """
         work = self.load.reportable_loads(now)
         others = [vm for vm in self.placers.peers if vm != self.settings.vm]
-        if len(others) < self.settings.tell_all:
+        if len(others) < self.settings.full_reporting_max_vms:
             return {vm: work for vm in others}
         groups: dict[VmId, list[ServerLoad]] = {}
         for one in work:
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -25,9 +25,9 @@
             for lost ones.
         max_report_reordering: Report numbers by which an overtaken report may be
             behind; a larger step back means that the sender has restarted.
-        tell_all: Largest number of entry VMs in a zone at which each reports its whole
-            load to all others; in a larger zone only placement coordinators get
-            reports.
+        full_reporting_max_vms: Largest number of entry VMs in a zone at which each
+            reports its whole load to all others; in a larger zone only placement
+            coordinators get reports.
         answer_s: Seconds after which a placement request times out; far more than the
             delay between two VMs of a zone.
         silent_placer_s: Seconds for which a VM is not asked after a timeout; doubles
@@ -86,7 +86,7 @@
     load_report_expiry_s: float = 1.6
     complete_report_interval_s: float = 0.7
     max_report_reordering: int = 16
-    tell_all: int = 4
+    full_reporting_max_vms: int = 4
     answer_s: float = 0.03
     silent_placer_s: float = 1.0
     silent_placer_max_s: float = 8.0
