--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -125,7 +125,7 @@
         asked = self.asked.get(flow)
         if asked is None:
             return False
-        if now - asked.at < self.settings.answer_s:
+        if now - asked.at < self.settings.placement_timeout_s:
             return True
         del self.asked[flow]
         self._miss(asked, now)
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -28,8 +28,8 @@
         full_reporting_max_vms: Largest number of entry VMs in a zone at which each
             reports its whole load to all others; in a larger zone only placement
             coordinators get reports.
-        answer_s: Seconds after which a placement request times out; far more than the
-            delay between two VMs of a zone.
+        placement_timeout_s: Seconds after which a placement request times out; far more
+            than the delay between two VMs of a zone.
         silent_placer_s: Seconds for which a VM is not asked after a timeout; doubles
             with each further timeout.
         silent_placer_max_s: Upper limit of that time in seconds.
@@ -87,7 +87,7 @@
     complete_report_interval_s: float = 0.7
     max_report_reordering: int = 16
     full_reporting_max_vms: int = 4
-    answer_s: float = 0.03
+    placement_timeout_s: float = 0.03
     silent_placer_s: float = 1.0
     silent_placer_max_s: float = 8.0
     full_s: float = 0.04
