--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -149,7 +149,7 @@
             return
         settings = self.settings
         silence.span = min(
-            max(2 * silence.span, settings.silent_placer_s),
+            max(2 * silence.span, settings.coordinator_backoff_s),
             settings.silent_placer_max_s,
         )
         silence.until = now + silence.span
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -30,8 +30,8 @@
             coordinators get reports.
         placement_timeout_s: Seconds after which a placement request times out; far more
             than the delay between two VMs of a zone.
-        silent_placer_s: Seconds for which a VM is not asked after a timeout; doubles
-            with each further timeout.
+        coordinator_backoff_s: Seconds for which a VM is not asked after a timeout;
+            doubles with each further timeout.
         silent_placer_max_s: Upper limit of that time in seconds.
         full_s: Seconds for which no placement request is sent after an answer that all
             servers of the service are full.
@@ -88,7 +88,7 @@
     max_report_reordering: int = 16
     full_reporting_max_vms: int = 4
     placement_timeout_s: float = 0.03
-    silent_placer_s: float = 1.0
+    coordinator_backoff_s: float = 1.0
     silent_placer_max_s: float = 8.0
     full_s: float = 0.04
     cautious_s: float = 0.2
