Rename silent_placer_max_s to coordinator_backoff_max_s

Usual term for this delay.

Rename: libs/tokens/src/kumquatmux_tokens/settings.py silent_placer_max_s coordinator_backoff_max_s

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -150,7 +150,7 @@
         settings = self.settings
         silence.span = min(
             max(2 * silence.span, settings.coordinator_backoff_s),
-            settings.silent_placer_max_s,
+            settings.coordinator_backoff_max_s,
         )
         silence.until = now + silence.span
         log_decision("placer-silent", placer=asked.vm, avoided_s=silence.span)
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -32,7 +32,7 @@
             than the delay between two VMs of a zone.
         coordinator_backoff_s: Seconds for which a VM is not asked after a timeout;
             doubles with each further timeout.
-        silent_placer_max_s: Upper limit of that time in seconds.
+        coordinator_backoff_max_s: Upper limit of that time in seconds.
         full_s: Seconds for which no placement request is sent after an answer that all
             servers of the service are full.
         cautious_s: Seconds after such an answer during which the number of unanswered
@@ -89,7 +89,7 @@
     full_reporting_max_vms: int = 4
     placement_timeout_s: float = 0.03
     coordinator_backoff_s: float = 1.0
-    silent_placer_max_s: float = 8.0
+    coordinator_backoff_max_s: float = 8.0
     full_s: float = 0.04
     cautious_s: float = 0.2
     cautious_asked: int = 4
