--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -215,7 +215,7 @@
         request at every tick, and the other VM would do little but refuse them.
         """
         full_s = now - self.full_at.get(service, -math.inf)
-        if full_s < self.settings.full_s:
+        if full_s < self.settings.placement_pause_s:
             return True
         is_cautious = full_s < self.settings.cautious_s
         return is_cautious and len(self.placers.asked) >= self.settings.cautious_asked
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -33,8 +33,8 @@
         coordinator_backoff_s: Seconds for which a VM is not asked after a timeout;
             doubles with each further timeout.
         coordinator_backoff_max_s: Upper limit of that time in seconds.
-        full_s: Seconds for which no placement request is sent after an answer that all
-            servers of the service are full.
+        placement_pause_s: Seconds for which no placement request is sent after an
+            answer that all servers of the service are full.
         cautious_s: Seconds after such an answer during which the number of unanswered
             placement requests is limited.
         cautious_asked: Limit of unanswered placement requests during that time.
@@ -90,7 +90,7 @@
     placement_timeout_s: float = 0.03
     coordinator_backoff_s: float = 1.0
     coordinator_backoff_max_s: float = 8.0
-    full_s: float = 0.04
+    placement_pause_s: float = 0.04
     cautious_s: float = 0.2
     cautious_asked: int = 4
     grant_s: float = 0.5
