--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -217,7 +217,7 @@
         full_s = now - self.full_at.get(service, -math.inf)
         if full_s < self.settings.placement_pause_s:
             return True
-        is_cautious = full_s < self.settings.cautious_s
+        is_cautious = full_s < self.settings.limited_placement_s
         return is_cautious and len(self.placers.asked) >= self.settings.cautious_asked
 
     def _choose(self, service: ServiceName, opening: NewFlow) -> Selection | None:
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -35,8 +35,8 @@
         coordinator_backoff_max_s: Upper limit of that time in seconds.
         placement_pause_s: Seconds for which no placement request is sent after an
             answer that all servers of the service are full.
-        cautious_s: Seconds after such an answer during which the number of unanswered
-            placement requests is limited.
+        limited_placement_s: Seconds after such an answer during which the number of
+            unanswered placement requests is limited.
         cautious_asked: Limit of unanswered placement requests during that time.
         grant_s: Seconds after which a reservation expires if the other VM does not
             report the flow.
@@ -91,7 +91,7 @@
     coordinator_backoff_s: float = 1.0
     coordinator_backoff_max_s: float = 8.0
     placement_pause_s: float = 0.04
-    cautious_s: float = 0.2
+    limited_placement_s: float = 0.2
     cautious_asked: int = 4
     grant_s: float = 0.5
     settle_s: float = 0.1
