--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -218,7 +218,10 @@
         if full_s < self.settings.placement_pause_s:
             return True
         is_cautious = full_s < self.settings.limited_placement_s
-        return is_cautious and len(self.placers.asked) >= self.settings.cautious_asked
+        return (
+            is_cautious
+            and len(self.placers.asked) >= self.settings.limited_placement_requests
+        )
 
     def _choose(self, service: ServiceName, opening: NewFlow) -> Selection | None:
         clashing = self.directory.colliding_tokens
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -37,7 +37,8 @@
             answer that all servers of the service are full.
         limited_placement_s: Seconds after such an answer during which the number of
             unanswered placement requests is limited.
-        cautious_asked: Limit of unanswered placement requests during that time.
+        limited_placement_requests: Limit of unanswered placement requests during that
+            time.
         grant_s: Seconds after which a reservation expires if the other VM does not
             report the flow.
         settle_s: Seconds after a server becomes known during which others are preferred
@@ -92,7 +93,7 @@
     coordinator_backoff_max_s: float = 8.0
     placement_pause_s: float = 0.04
     limited_placement_s: float = 0.2
-    cautious_asked: int = 4
+    limited_placement_requests: int = 4
     grant_s: float = 0.5
     settle_s: float = 0.1
     ended_s: float = 1.0
