--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -39,8 +39,8 @@
             unanswered placement requests is limited.
         limited_placement_requests: Limit of unanswered placement requests during that
             time.
-        grant_s: Seconds after which a reservation expires if the other VM does not
-            report the flow.
+        reservation_timeout_s: Seconds after which a reservation expires if the other VM
+            does not report the flow.
         settle_s: Seconds after a server becomes known during which others are preferred
             for new flows, so that the zone's other VMs learn its token too.
         ended_s: Seconds for which packets are still forwarded to a server after its
@@ -94,7 +94,7 @@
     placement_pause_s: float = 0.04
     limited_placement_s: float = 0.2
     limited_placement_requests: int = 4
-    grant_s: float = 0.5
+    reservation_timeout_s: float = 0.5
     settle_s: float = 0.1
     ended_s: float = 1.0
     route_gone_s: float = 6.0
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -140,7 +140,7 @@
     def reserve(self, vm: VmId, token: int, now: float) -> Reservation:
         """Reserve capacity for a flow that another VM is about to open."""
         self.reservation_count += 1
-        expires_at = now + self.settings.grant_s
+        expires_at = now + self.settings.reservation_timeout_s
         reservation = Reservation(self.reservation_count, token, expires_at)
         self._reporting_peer(vm, now).reservations.append(reservation)
         self._add_to_total(token, 1, 1, 0)
