--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -76,7 +76,7 @@
     Only servers in phase ``READY`` are eligible. Each gets a priority level:
 
         0: The server has no known problem.
-        1: It became known less than ``settle_s`` seconds ago.
+        1: It became known less than ``new_server_delay_s`` seconds ago.
         2: Its zone is unreachable, or it left SYN packets unanswered.
         3: Its reports are overdue.
         4: A SYN packet of this flow was already sent to it.
@@ -152,7 +152,7 @@
     is_avoided = own_load is not None and own_load.avoided_until > flow.now
     if is_avoided or (peer_load is not None and peer_load.avoiding_vms > 0):
         return LAST_RESORT_LEVEL
-    if entry.first_known_at > flow.now - load.settings.settle_s:
+    if entry.first_known_at > flow.now - load.settings.new_server_delay_s:
         return 1
     return 0
 
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -41,8 +41,8 @@
             time.
         reservation_timeout_s: Seconds after which a reservation expires if the other VM
             does not report the flow.
-        settle_s: Seconds after a server becomes known during which others are preferred
-            for new flows, so that the zone's other VMs learn its token too.
+        new_server_delay_s: Seconds after a server becomes known during which others are
+            preferred for new flows, so that the zone's other VMs learn its token too.
         ended_s: Seconds for which packets are still forwarded to a server after its
             lifetime has ended; after that its flows are reset.
         route_gone_s: Seconds after which open flows of a removed route are reset; by
@@ -95,7 +95,7 @@
     limited_placement_s: float = 0.2
     limited_placement_requests: int = 4
     reservation_timeout_s: float = 0.5
-    settle_s: float = 0.1
+    new_server_delay_s: float = 0.1
     ended_s: float = 1.0
     route_gone_s: float = 6.0
     remote_cost: float = 0.7
