Rename ended_s to ended_server_grace_s

Usual term for this period.

Rename: libs/tokens/src/kumquatmux_tokens/settings.py ended_s ended_server_grace_s

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -264,7 +264,7 @@
         if self.routes.is_gone(head.route, now - self.settings.route_gone_s):
             return Reset(head.acknowledged, "route-removed")
         ended_at = entry.ended_at
-        if ended_at is not None and ended_at < now - self.settings.ended_s:
+        if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
             return Reset(head.acknowledged, "server-ended")
         self.load.record_packet(head, token, now)
         if self._is_lost(head, entry.record, now):
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -43,8 +43,8 @@
             does not report the flow.
         new_server_delay_s: Seconds after a server becomes known during which others are
             preferred for new flows, so that the zone's other VMs learn its token too.
-        ended_s: Seconds for which packets are still forwarded to a server after its
-            lifetime has ended; after that its flows are reset.
+        ended_server_grace_s: Seconds for which packets are still forwarded to a server
+            after its lifetime has ended; after that its flows are reset.
         route_gone_s: Seconds after which open flows of a removed route are reset; by
             then every VM has installed the document that removed it.
         remote_cost: Load per slot up to which new flows stay in their own zone; also
@@ -96,7 +96,7 @@
     limited_placement_requests: int = 4
     reservation_timeout_s: float = 0.5
     new_server_delay_s: float = 0.1
-    ended_s: float = 1.0
+    ended_server_grace_s: float = 1.0
     route_gone_s: float = 6.0
     remote_cost: float = 0.7
     open_cost: float = 0.03
