Rename route_gone_s to removed_route_grace_s

Usual term for this period.

Rename: libs/tokens/src/kumquatmux_tokens/settings.py route_gone_s removed_route_grace_s

--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -45,8 +45,8 @@
             preferred for new flows, so that the zone's other VMs learn its token too.
         ended_server_grace_s: Seconds for which packets are still forwarded to a server
             after its lifetime has ended; after that its flows are reset.
-        route_gone_s: Seconds after which open flows of a removed route are reset; by
-            then every VM has installed the document that removed it.
+        removed_route_grace_s: Seconds after which open flows of a removed route are
+            reset; by then every VM has installed the document that removed it.
         remote_cost: Load per slot up to which new flows stay in their own zone; also
             added to the cost of servers in other zones.
         open_cost: Cost of an open flow without a request, relative to a request.
@@ -97,7 +97,7 @@
     reservation_timeout_s: float = 0.5
     new_server_delay_s: float = 0.1
     ended_server_grace_s: float = 1.0
-    route_gone_s: float = 6.0
+    removed_route_grace_s: float = 6.0
     remote_cost: float = 0.7
     open_cost: float = 0.03
     queue_depth: int = 6
