--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -85,7 +85,7 @@
     a flow with many requests, the requests in progress count less, so that the number
     of open flows counts more. Servers of other zones are evaluated only if the best
     server of this zone has a level above 0, is full, or costs more than
-    ``remote_cost``.
+    ``remote_zone_cost``.
 
     Args:
         entries: Servers of the service.
@@ -124,7 +124,7 @@
 
 def _beats_other_zones(candidate: Candidate, load: LoadTracker) -> bool:
     """Return whether no server of another zone can be a better choice."""
-    is_cheap = candidate.cost <= load.settings.remote_cost
+    is_cheap = candidate.cost <= load.settings.remote_zone_cost
     return candidate.priority_level == 0 and not candidate.is_full and is_cheap
 
 
@@ -179,7 +179,7 @@
     if entry.warm_up_ends_at > flow.now:
         cost = (cost + 1 / slots) * settings.cold_cost
     if report.zone != settings.zone:
-        cost += settings.remote_cost
+        cost += settings.remote_zone_cost
     is_full = active_requests >= slots + settings.queue_depth
     return Candidate(
         entry, _priority_level(entry, flow, load), is_full, cost, tie_breaker
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -47,8 +47,8 @@
             after its lifetime has ended; after that its flows are reset.
         removed_route_grace_s: Seconds after which open flows of a removed route are
             reset; by then every VM has installed the document that removed it.
-        remote_cost: Load per slot up to which new flows stay in their own zone; also
-            added to the cost of servers in other zones.
+        remote_zone_cost: Load per slot up to which new flows stay in their own zone;
+            also added to the cost of servers in other zones.
         open_cost: Cost of an open flow without a request, relative to a request.
         queue_depth: Requests that may queue at a server beyond its slots before new
             flows wait here; as many as finish well within the target time of an answer.
@@ -98,7 +98,7 @@
     new_server_delay_s: float = 0.1
     ended_server_grace_s: float = 1.0
     removed_route_grace_s: float = 6.0
-    remote_cost: float = 0.7
+    remote_zone_cost: float = 0.7
     open_cost: float = 0.03
     queue_depth: int = 6
     cold_cost: float = 1.6
