--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -174,7 +174,7 @@
     idle_flows = max(open_flows - active_requests, 0)
     active_request_cost = settings.long_busy_cost if flow.expects_many_requests else 1.0
     cost = (
-        active_request_cost * active_requests + settings.open_cost * idle_flows
+        active_request_cost * active_requests + settings.idle_flow_cost * idle_flows
     ) / slots
     if entry.warm_up_ends_at > flow.now:
         cost = (cost + 1 / slots) * settings.cold_cost
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -49,7 +49,7 @@
             reset; by then every VM has installed the document that removed it.
         remote_zone_cost: Load per slot up to which new flows stay in their own zone;
             also added to the cost of servers in other zones.
-        open_cost: Cost of an open flow without a request, relative to a request.
+        idle_flow_cost: Cost of an open flow without a request, relative to a request.
         queue_depth: Requests that may queue at a server beyond its slots before new
             flows wait here; as many as finish well within the target time of an answer.
         cold_cost: Factor on the cost of a server in warm-up.
@@ -99,7 +99,7 @@
     ended_server_grace_s: float = 1.0
     removed_route_grace_s: float = 6.0
     remote_zone_cost: float = 0.7
-    open_cost: float = 0.03
+    idle_flow_cost: float = 0.03
     queue_depth: int = 6
     cold_cost: float = 1.6
     strike_s: float = 0.5
