--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -177,7 +177,7 @@
         active_request_cost * active_requests + settings.idle_flow_cost * idle_flows
     ) / slots
     if entry.warm_up_ends_at > flow.now:
-        cost = (cost + 1 / slots) * settings.cold_cost
+        cost = (cost + 1 / slots) * settings.warm_up_cost_factor
     if report.zone != settings.zone:
         cost += settings.remote_zone_cost
     is_full = active_requests >= slots + settings.queue_depth
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -52,7 +52,7 @@
         idle_flow_cost: Cost of an open flow without a request, relative to a request.
         queue_depth: Requests that may queue at a server beyond its slots before new
             flows wait here; as many as finish well within the target time of an answer.
-        cold_cost: Factor on the cost of a server in warm-up.
+        warm_up_cost_factor: Factor on the cost of a server in warm-up.
         strike_s: Seconds for which a server is avoided after it left a SYN packet
             unanswered; doubles with each further one.
         strike_max_s: Upper limit of that time in seconds.
@@ -101,7 +101,7 @@
     remote_zone_cost: float = 0.7
     idle_flow_cost: float = 0.03
     queue_depth: int = 6
-    cold_cost: float = 1.6
+    warm_up_cost_factor: float = 1.6
     strike_s: float = 0.5
     strike_max_s: float = 4.0
     copy_gap_s: float = 0.12
