--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -160,7 +160,7 @@
         load = self.local_load_at(flow.token)
         if load.last_answer_at > flow.syn_forwarded_at:
             return False
-        backoff_s = self.settings.strike_s * 2**load.unanswered_syns
+        backoff_s = self.settings.server_avoidance_s * 2**load.unanswered_syns
         load.unanswered_syns += 1
         load.avoided_until = now + min(backoff_s, self.settings.strike_max_s)
         return True
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -53,8 +53,8 @@
         queue_depth: Requests that may queue at a server beyond its slots before new
             flows wait here; as many as finish well within the target time of an answer.
         warm_up_cost_factor: Factor on the cost of a server in warm-up.
-        strike_s: Seconds for which a server is avoided after it left a SYN packet
-            unanswered; doubles with each further one.
+        server_avoidance_s: Seconds for which a server is avoided after it left a SYN
+            packet unanswered; doubles with each further one.
         strike_max_s: Upper limit of that time in seconds.
         copy_gap_s: Seconds between a SYN packet and its retransmission below which the
             retransmission is no evidence against the server, as this VM was late
@@ -102,7 +102,7 @@
     idle_flow_cost: float = 0.03
     queue_depth: int = 6
     warm_up_cost_factor: float = 1.6
-    strike_s: float = 0.5
+    server_avoidance_s: float = 0.5
     strike_max_s: float = 4.0
     copy_gap_s: float = 0.12
     silent_repeats: int = 2
