--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -162,7 +162,7 @@
             return False
         backoff_s = self.settings.server_avoidance_s * 2**load.unanswered_syns
         load.unanswered_syns += 1
-        load.avoided_until = now + min(backoff_s, self.settings.strike_max_s)
+        load.avoided_until = now + min(backoff_s, self.settings.server_avoidance_max_s)
         return True
 
     def record_packet(self, head: Head, token: int, now: float) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -55,7 +55,7 @@
         warm_up_cost_factor: Factor on the cost of a server in warm-up.
         server_avoidance_s: Seconds for which a server is avoided after it left a SYN
             packet unanswered; doubles with each further one.
-        strike_max_s: Upper limit of that time in seconds.
+        server_avoidance_max_s: Upper limit of that time in seconds.
         copy_gap_s: Seconds between a SYN packet and its retransmission below which the
             retransmission is no evidence against the server, as this VM was late
             itself.
@@ -103,7 +103,7 @@
     queue_depth: int = 6
     warm_up_cost_factor: float = 1.6
     server_avoidance_s: float = 0.5
-    strike_max_s: float = 4.0
+    server_avoidance_max_s: float = 4.0
     copy_gap_s: float = 0.12
     silent_repeats: int = 2
     silent_s: float = 0.5
