--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -160,7 +160,8 @@
         flow = self.load.flows.get(head.flow)
         is_copy = flow is not None and not flow.is_established
         is_soon = (
-            flow is not None and now - flow.syn_forwarded_at < self.settings.copy_gap_s
+            flow is not None
+            and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
         )
         if flow is not None and is_copy and head.copy and not is_soon:
             if self.load.record_unanswered_syn(flow, now):
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -56,9 +56,9 @@
         server_avoidance_s: Seconds for which a server is avoided after it left a SYN
             packet unanswered; doubles with each further one.
         server_avoidance_max_s: Upper limit of that time in seconds.
-        copy_gap_s: Seconds between a SYN packet and its retransmission below which the
-            retransmission is no evidence against the server, as this VM was late
-            itself.
+        min_retransmission_gap_s: Seconds between a SYN packet and its retransmission
+            below which the retransmission is no evidence against the server, as this VM
+            was late itself.
         silent_repeats: Retransmissions of the same data from which a flow may be lost.
         silent_s: Seconds since the first transmission of that data from which a flow
             may be lost. Without it, retransmissions that queued up while this VM was
@@ -104,7 +104,7 @@
     warm_up_cost_factor: float = 1.6
     server_avoidance_s: float = 0.5
     server_avoidance_max_s: float = 4.0
-    copy_gap_s: float = 0.12
+    min_retransmission_gap_s: float = 0.12
     silent_repeats: int = 2
     silent_s: float = 0.5
     hold_s: float = 1.5
