Rename silent_repeats to lost_flow_retransmissions

Retransmissions from which a flow may be lost.

Rename: libs/tokens/src/kumquatmux_tokens/settings.py silent_repeats lost_flow_retransmissions

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -205,7 +205,10 @@
         takes long does not match, as other callers get answers.
         """
         flow = self.flows.get(flow_key)
-        if flow is None or flow.retransmissions < self.settings.silent_repeats:
+        if (
+            flow is None
+            or flow.retransmissions < self.settings.lost_flow_retransmissions
+        ):
             return False
         is_overdue = now - flow.last_data_at >= self.settings.silent_s
         return (
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -59,7 +59,8 @@
         min_retransmission_gap_s: Seconds between a SYN packet and its retransmission
             below which the retransmission is no evidence against the server, as this VM
             was late itself.
-        silent_repeats: Retransmissions of the same data from which a flow may be lost.
+        lost_flow_retransmissions: Retransmissions of the same data from which a flow
+            may be lost.
         silent_s: Seconds since the first transmission of that data from which a flow
             may be lost. Without it, retransmissions that queued up while this VM was
             paused would count as evidence.
@@ -105,7 +106,7 @@
     server_avoidance_s: float = 0.5
     server_avoidance_max_s: float = 4.0
     min_retransmission_gap_s: float = 0.12
-    silent_repeats: int = 2
+    lost_flow_retransmissions: int = 2
     silent_s: float = 0.5
     hold_s: float = 1.5
     held_packets: int = 2048
