--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -210,7 +210,7 @@
             or flow.retransmissions < self.settings.lost_flow_retransmissions
         ):
             return False
-        is_overdue = now - flow.last_data_at >= self.settings.silent_s
+        is_overdue = now - flow.last_data_at >= self.settings.lost_flow_min_s
         return (
             is_overdue
             and self.local_load_at(flow.token).last_answer_at <= flow.last_data_at
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -61,9 +61,9 @@
             was late itself.
         lost_flow_retransmissions: Retransmissions of the same data from which a flow
             may be lost.
-        silent_s: Seconds since the first transmission of that data from which a flow
-            may be lost. Without it, retransmissions that queued up while this VM was
-            paused would count as evidence.
+        lost_flow_min_s: Seconds since the first transmission of that data from which a
+            flow may be lost. Without it, retransmissions that queued up while this VM
+            was paused would count as evidence.
         hold_s: Seconds for which a packet with an unknown token is buffered; as long as
             a newly started entry VM may wait for a control VM that is starting too.
         held_packets: Limit of buffered packets with an unknown token.
@@ -107,7 +107,7 @@
     server_avoidance_max_s: float = 4.0
     min_retransmission_gap_s: float = 0.12
     lost_flow_retransmissions: int = 2
-    silent_s: float = 0.5
+    lost_flow_min_s: float = 0.5
     hold_s: float = 1.5
     held_packets: int = 2048
     known_s: float = 5.0
