--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -64,8 +64,9 @@
         lost_flow_min_s: Seconds since the first transmission of that data from which a
             flow may be lost. Without it, retransmissions that queued up while this VM
             was paused would count as evidence.
-        hold_s: Seconds for which a packet with an unknown token is buffered; as long as
-            a newly started entry VM may wait for a control VM that is starting too.
+        token_lookup_timeout_s: Seconds for which a packet with an unknown token is
+            buffered; as long as a newly started entry VM may wait for a control VM that
+            is starting too.
         held_packets: Limit of buffered packets with an unknown token.
         known_s: Seconds for which SYN packets of a service without servers may wait for
             one, counted from when it last had one or from the start of this VM.
@@ -108,7 +109,7 @@
     min_retransmission_gap_s: float = 0.12
     lost_flow_retransmissions: int = 2
     lost_flow_min_s: float = 0.5
-    hold_s: float = 1.5
+    token_lookup_timeout_s: float = 1.5
     held_packets: int = 2048
     known_s: float = 5.0
     patience_s: float = 1.4
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -44,7 +44,7 @@
         if self.count >= self.settings.held_packets:
             return False
         waiting = self.by_token.setdefault(head.token, [])
-        waiting.append(Held(head, data, now + self.settings.hold_s))
+        waiting.append(Held(head, data, now + self.settings.token_lookup_timeout_s))
         self.count += 1
         return len(waiting) == 1
 
