--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -67,7 +67,7 @@
         token_lookup_timeout_s: Seconds for which a packet with an unknown token is
             buffered; as long as a newly started entry VM may wait for a control VM that
             is starting too.
-        held_packets: Limit of buffered packets with an unknown token.
+        token_buffer_limit: Limit of buffered packets with an unknown token.
         known_s: Seconds for which SYN packets of a service without servers may wait for
             one, counted from when it last had one or from the start of this VM.
         patience_s: Seconds that a caller waits for the answer to its SYN packet.
@@ -110,7 +110,7 @@
     lost_flow_retransmissions: int = 2
     lost_flow_min_s: float = 0.5
     token_lookup_timeout_s: float = 1.5
-    held_packets: int = 2048
+    token_buffer_limit: int = 2048
     known_s: float = 5.0
     patience_s: float = 1.4
     copy_after_s: tuple[float, ...] = (0.0, 0.2, 0.6)
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -41,7 +41,7 @@
 
         The token is looked up only for the first packet that carries it.
         """
-        if self.count >= self.settings.held_packets:
+        if self.count >= self.settings.token_buffer_limit:
             return False
         waiting = self.by_token.setdefault(head.token, [])
         waiting.append(Held(head, data, now + self.settings.token_lookup_timeout_s))
