--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -296,11 +296,11 @@
         """Return the decision for a SYN packet of a service without servers.
 
         The packet waits if a server is likely to come while the caller waits, that is,
-        if the service had one, or this VM started, at most ``known_s`` seconds ago.
-        Otherwise the flow is refused at once.
+        if the service had one, or this VM started, at most ``server_wait_s`` seconds
+        ago. Otherwise the flow is refused at once.
         """
         latest = self.served_at.get(service, self.started_at)
-        if latest > now - self.settings.known_s:
+        if latest > now - self.settings.server_wait_s:
             return Wait("no-server-yet")
         return Reset(ANY_SEQUENCE, "no-server")
 
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -68,8 +68,9 @@
             buffered; as long as a newly started entry VM may wait for a control VM that
             is starting too.
         token_buffer_limit: Limit of buffered packets with an unknown token.
-        known_s: Seconds for which SYN packets of a service without servers may wait for
-            one, counted from when it last had one or from the start of this VM.
+        server_wait_s: Seconds for which SYN packets of a service without servers may
+            wait for one, counted from when it last had one or from the start of this
+            VM.
         patience_s: Seconds that a caller waits for the answer to its SYN packet.
         copy_after_s: Seconds between the first SYN packet and each of its
             transmissions.
@@ -111,7 +112,7 @@
     lost_flow_min_s: float = 0.5
     token_lookup_timeout_s: float = 1.5
     token_buffer_limit: int = 2048
-    known_s: float = 5.0
+    server_wait_s: float = 5.0
     patience_s: float = 1.4
     copy_after_s: tuple[float, ...] = (0.0, 0.2, 0.6)
     waiting_openings: int = 2048
