--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -71,7 +71,8 @@
         server_wait_s: Seconds for which SYN packets of a service without servers may
             wait for one, counted from when it last had one or from the start of this
             VM.
-        patience_s: Seconds that a caller waits for the answer to its SYN packet.
+        caller_syn_timeout_s: Seconds that a caller waits for the answer to its SYN
+            packet.
         copy_after_s: Seconds between the first SYN packet and each of its
             transmissions.
         waiting_openings: Limit of buffered SYN packets.
@@ -113,7 +114,7 @@
     token_lookup_timeout_s: float = 1.5
     token_buffer_limit: int = 2048
     server_wait_s: float = 5.0
-    patience_s: float = 1.4
+    caller_syn_timeout_s: float = 1.4
     copy_after_s: tuple[float, ...] = (0.0, 0.2, 0.6)
     waiting_openings: int = 2048
     long_share: float = 0.5
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -89,7 +89,7 @@
             return False
         copy = min(head.copy, len(settings.copy_after_s) - 1)
         began = now - settings.copy_after_s[copy]
-        until = known.until if known else began + settings.patience_s
+        until = known.until if known else began + settings.caller_syn_timeout_s
         self.by_flow[head.flow] = Held(head, data, until)
         return True
 
