Rename copy_after_s to syn_transmission_offsets_s

Offsets at which the caller sends its SYN.

Rename: libs/tokens/src/kumquatmux_tokens/settings.py copy_after_s syn_transmission_offsets_s

--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -73,7 +73,7 @@
             VM.
         caller_syn_timeout_s: Seconds that a caller waits for the answer to its SYN
             packet.
-        copy_after_s: Seconds between the first SYN packet and each of its
+        syn_transmission_offsets_s: Seconds between the first SYN packet and each of its
             transmissions.
         waiting_openings: Limit of buffered SYN packets.
         long_share: Share of a route's requests that follow another one on their flow
@@ -115,7 +115,7 @@
     token_buffer_limit: int = 2048
     server_wait_s: float = 5.0
     caller_syn_timeout_s: float = 1.4
-    copy_after_s: tuple[float, ...] = (0.0, 0.2, 0.6)
+    syn_transmission_offsets_s: tuple[float, ...] = (0.0, 0.2, 0.6)
     waiting_openings: int = 2048
     long_share: float = 0.5
     share_step: float = 0.05
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -87,8 +87,8 @@
         known = self.by_flow.get(head.flow)
         if known is None and len(self.by_flow) >= settings.waiting_openings:
             return False
-        copy = min(head.copy, len(settings.copy_after_s) - 1)
-        began = now - settings.copy_after_s[copy]
+        copy = min(head.copy, len(settings.syn_transmission_offsets_s) - 1)
+        began = now - settings.syn_transmission_offsets_s[copy]
         until = known.until if known else began + settings.caller_syn_timeout_s
         self.by_flow[head.flow] = Held(head, data, until)
         return True
