--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -75,7 +75,7 @@
             packet.
         syn_transmission_offsets_s: Seconds between the first SYN packet and each of its
             transmissions.
-        waiting_openings: Limit of buffered SYN packets.
+        syn_buffer_limit: Limit of buffered SYN packets.
         long_share: Share of a route's requests that follow another one on their flow
             above which new flows of the route are expected to carry many requests.
         share_step: Weight of one request in the moving average of that share.
@@ -116,7 +116,7 @@
     server_wait_s: float = 5.0
     caller_syn_timeout_s: float = 1.4
     syn_transmission_offsets_s: tuple[float, ...] = (0.0, 0.2, 0.6)
-    waiting_openings: int = 2048
+    syn_buffer_limit: int = 2048
     long_share: float = 0.5
     share_step: float = 0.05
     long_busy_cost: float = 0.25
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -85,7 +85,7 @@
         """
         settings = self.settings
         known = self.by_flow.get(head.flow)
-        if known is None and len(self.by_flow) >= settings.waiting_openings:
+        if known is None and len(self.by_flow) >= settings.syn_buffer_limit:
             return False
         copy = min(head.copy, len(settings.syn_transmission_offsets_s) - 1)
         began = now - settings.syn_transmission_offsets_s[copy]
--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -6,7 +6,7 @@
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.waiting import WaitingOpenings
 
-SETTINGS = TokenSettings("e1", "a", waiting_openings=2)
+SETTINGS = TokenSettings("e1", "a", syn_buffer_limit=2)
 
 
 def opening(copy=0, flow=b"f"):
