--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -128,7 +128,10 @@
 
     def expects_many_requests(self, route: bytes) -> bool:
         """Return whether the flows of a route are likely to carry many requests."""
-        return self.follow_up_share.get(route, 0.0) > self.settings.long_share
+        return (
+            self.follow_up_share.get(route, 0.0)
+            > self.settings.follow_up_share_threshold
+        )
 
     def record_syn(self, head: Head, token: int, now: float) -> Flow:
         """Record that a flow's SYN packet goes to a server; return the flow."""
