--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -310,7 +310,7 @@
         if flow.request_sent_at is not None and flow.has_sent_request:
             return
         share = self.follow_up_share.get(head.route, 0.0)
-        smoothing = self.settings.share_step
+        smoothing = self.settings.follow_up_share_smoothing
         self.follow_up_share[head.route] = share + smoothing * (
             float(flow.has_sent_request) - share
         )
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -79,7 +79,8 @@
         follow_up_share_threshold: Share of a route's requests that follow another one
             on their flow above which new flows of the route are expected to carry many
             requests.
-        share_step: Weight of one request in the moving average of that share.
+        follow_up_share_smoothing: Weight of one request in the moving average of that
+            share.
         long_busy_cost: Cost of a request in progress when the new flow is expected to
             carry many requests; the cost is 1 for other flows.
     """
@@ -119,5 +120,5 @@
     syn_transmission_offsets_s: tuple[float, ...] = (0.0, 0.2, 0.6)
     syn_buffer_limit: int = 2048
     follow_up_share_threshold: float = 0.5
-    share_step: float = 0.05
+    follow_up_share_smoothing: float = 0.05
     long_busy_cost: float = 0.25
