--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -172,7 +172,9 @@
         active_requests += peer_load.active_requests
         open_flows += peer_load.open_flows
     idle_flows = max(open_flows - active_requests, 0)
-    active_request_cost = settings.long_busy_cost if flow.expects_many_requests else 1.0
+    active_request_cost = (
+        settings.many_requests_active_cost if flow.expects_many_requests else 1.0
+    )
     cost = (
         active_request_cost * active_requests + settings.idle_flow_cost * idle_flows
     ) / slots
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -81,8 +81,8 @@
             requests.
         follow_up_share_smoothing: Weight of one request in the moving average of that
             share.
-        long_busy_cost: Cost of a request in progress when the new flow is expected to
-            carry many requests; the cost is 1 for other flows.
+        many_requests_active_cost: Cost of a request in progress when the new flow is
+            expected to carry many requests; the cost is 1 for other flows.
     """
 
     vm: VmId
@@ -121,4 +121,4 @@
     syn_buffer_limit: int = 2048
     follow_up_share_threshold: float = 0.5
     follow_up_share_smoothing: float = 0.05
-    long_busy_cost: float = 0.25
+    many_requests_active_cost: float = 0.25
