--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -27,12 +27,13 @@
     Attributes:
         name: Name of the route.
         address: 6 bytes: the IPv4 address and port that callers send to.
-        shares: Weighted services, at least one of them with a weight above 0.
+        weighted_services: Weighted services, at least one of them with a weight above
+            0.
     """
 
     name: str
     address: Address
-    shares: tuple[Share, ...]
+    weighted_services: tuple[Share, ...]
 
     def service_for(self, flow: bytes) -> ServiceName:
         """Return the service of a flow, which is the same for every SYN of the flow.
@@ -40,9 +41,9 @@
         Raises:
             AssertionError: No service has a weight above 0.
         """
-        total = sum(share.weight for share in self.shares)
+        total = sum(share.weight for share in self.weighted_services)
         point = xxhash.xxh3_64_intdigest(flow) % total
-        for share in self.shares:
+        for share in self.weighted_services:
             if point < share.weight:
                 return share.service
             point -= share.weight
