--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -101,7 +101,7 @@
         if held is None:
             return None
         route = self.routes.routes.get(held.head.route)
-        service = route.service_for(answer.flow) if route else ServiceName("")
+        service = route.select_service(answer.flow) if route else ServiceName("")
         if answer.is_full:
             self.full_at[service] = now
             return None
@@ -115,7 +115,7 @@
         route = self.routes.routes.get(head.route)
         if route is None:
             return self._without_route(head)
-        service = route.service_for(head.flow)
+        service = route.select_service(head.flow)
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_here(head, service, now)
@@ -156,7 +156,7 @@
         route = self.routes.routes.get(head.route)
         if route is None:
             return self._without_route(head)
-        service = route.service_for(head.flow)
+        service = route.select_service(head.flow)
         flow = self.load.flows.get(head.flow)
         is_copy = flow is not None and not flow.is_established
         is_soon = (
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -35,7 +35,7 @@
     address: Address
     weighted_services: tuple[Share, ...]
 
-    def service_for(self, flow: bytes) -> ServiceName:
+    def select_service(self, flow: bytes) -> ServiceName:
         """Return the service of a flow, which is the same for every SYN of the flow.
 
         Raises:
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -308,7 +308,7 @@
     shares = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
     route = Route("r", ROUTE, shares)
     flows = [flow_of(caller, ROUTE) for caller in range(4000)]
-    found = [route.service_for(flow) for flow in flows]
+    found = [route.select_service(flow) for flow in flows]
     expected = weights[0] / sum(weights)
     assert abs(found.count("entries") / len(found) - expected) < 0.03
 
