--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -54,13 +54,13 @@
     """The part of a configuration document that routing needs.
 
     Attributes:
-        number: Document number, 0 for no document.
+        document_number: Document number, 0 for no document.
         routes: The document's routes.
         services: Names of the document's services.
         idle_s: Idle time in seconds after which a flow may be dropped.
     """
 
-    number: int
+    document_number: int
     routes: tuple[Route, ...]
     services: frozenset[ServiceName]
     idle_s: float
@@ -84,10 +84,10 @@
 
     def install(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        if routes.number <= self.number:
+        if routes.document_number <= self.number:
             return False
         former = self.routes
-        self.number = routes.number
+        self.number = routes.document_number
         self.routes = {route.address: route for route in routes.routes}
         for address in former.keys() - self.routes.keys():
             self.removed[address] = now
