--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -74,13 +74,13 @@
     Attributes:
         number: Number of the document in force, 0 for none.
         routes: Routes of that document, by address.
-        removed: Removal times of routes that are no longer in force, by address.
+        removed_at: Removal times of routes that are no longer in force, by address.
     """
 
     def __init__(self) -> None:
         self.number = 0
         self.routes: dict[bytes, Route] = {}
-        self.removed: dict[bytes, float] = {}
+        self.removed_at: dict[bytes, float] = {}
 
     def install(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
@@ -90,12 +90,12 @@
         self.number = routes.document_number
         self.routes = {route.address: route for route in routes.routes}
         for address in former.keys() - self.routes.keys():
-            self.removed[address] = now
+            self.removed_at[address] = now
         for address in self.routes:
-            self.removed.pop(address, None)
+            self.removed_at.pop(address, None)
         return True
 
     def is_gone(self, address: bytes, since: float) -> bool:
         """Return whether a route was removed before a given time."""
-        removed = self.removed.get(address)
+        removed = self.removed_at.get(address)
         return removed is not None and removed < since
