--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -262,7 +262,9 @@
         entry = self.directory.by_token.get(token)
         if entry is None:
             return Hold(token) if token else Drop("no-token")
-        if self.routes.is_gone(head.route, now - self.settings.removed_route_grace_s):
+        if self.routes.was_removed_before(
+            head.route, now - self.settings.removed_route_grace_s
+        ):
             return Reset(head.acknowledged, "route-removed")
         ended_at = entry.ended_at
         if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -95,7 +95,7 @@
             self.removed_at.pop(address, None)
         return True
 
-    def is_gone(self, address: bytes, since: float) -> bool:
+    def was_removed_before(self, address: bytes, since: float) -> bool:
         """Return whether a route was removed before a given time."""
         removed = self.removed_at.get(address)
         return removed is not None and removed < since
