Rename former to previous_routes

Routes of the previous document.

Rename: libs/tokens/src/kumquatmux_tokens/routes.py former previous_routes

--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -86,10 +86,10 @@
         """Install the routes of a newer document; return whether it was newer."""
         if routes.document_number <= self.number:
             return False
-        former = self.routes
+        previous_routes = self.routes
         self.number = routes.document_number
         self.routes = {route.address: route for route in routes.routes}
-        for address in former.keys() - self.routes.keys():
+        for address in previous_routes.keys() - self.routes.keys():
             self.removed_at[address] = now
         for address in self.routes:
             self.removed_at.pop(address, None)
