--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -97,5 +97,5 @@
 
     def was_removed_before(self, address: bytes, since: float) -> bool:
         """Return whether a route was removed before a given time."""
-        removed = self.removed_at.get(address)
-        return removed is not None and removed < since
+        removed_at = self.removed_at.get(address)
+        return removed_at is not None and removed_at < since
