Rename since to limit

The time is an upper limit, not a start.

Rename: libs/tokens/src/kumquatmux_tokens/routes.py since limit

--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -95,7 +95,7 @@
             self.removed_at.pop(address, None)
         return True
 
-    def was_removed_before(self, address: bytes, since: float) -> bool:
+    def was_removed_before(self, address: bytes, limit: float) -> bool:
         """Return whether a route was removed before a given time."""
         removed_at = self.removed_at.get(address)
-        return removed_at is not None and removed_at < since
+        return removed_at is not None and removed_at < limit
