--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -82,13 +82,13 @@
         self.routes: dict[bytes, Route] = {}
         self.removed_at: dict[bytes, float] = {}
 
-    def install(self, routes: RouteSet, now: float) -> bool:
+    def install(self, route_set: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        if routes.document_number <= self.number:
+        if route_set.document_number <= self.number:
             return False
         previous_routes = self.routes
-        self.number = routes.document_number
-        self.routes = {route.address: route for route in routes.routes}
+        self.number = route_set.document_number
+        self.routes = {route.address: route for route in route_set.routes}
         for address in previous_routes.keys() - self.routes.keys():
             self.removed_at[address] = now
         for address in self.routes:
