--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -14,7 +14,7 @@
 
     Attributes:
         flow: 12-byte flow key: the caller's IPv4 address and port, then the route's.
-        route: Last 6 bytes of ``flow``: the route's IPv4 address and port.
+        route: Last 6 bytes of ``flow_key``: the route's IPv4 address and port.
         token: Token of the server that the packet belongs to, 0 for none.
         is_opening: Whether the packet is a SYN, which opens a flow.
         is_closing: Whether the packet is a FIN or RST.
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -20,14 +20,14 @@
 
     Attributes:
         sender: The requesting VM.
-        flow: 12-byte flow key.
+        flow_key: 12-byte flow key.
         service: Service that the flow's route selects.
         tried: Tokens of the servers that earlier SYN packets of the flow were sent to.
         is_long: Whether the flow is likely to carry many requests.
     """
 
     sender: VmId
-    flow: bytes
+    flow_key: bytes
     service: ServiceName
     tried: tuple[int, ...]
     is_long: bool
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -82,12 +82,12 @@
         choice = self._choose(question.service, opening)
         me = self.settings.vm
         if choice is None:
-            return PlaceAnswer(me, question.flow, 0, False, 0)
+            return PlaceAnswer(me, question.flow_key, 0, False, 0)
         token = choice.entry.record.token
         if choice.is_full:
-            return PlaceAnswer(me, question.flow, token, True, 0)
+            return PlaceAnswer(me, question.flow_key, token, True, 0)
         granted = self.load.zone.reserve(question.sender, token, now)
-        return PlaceAnswer(me, question.flow, token, False, granted.number)
+        return PlaceAnswer(me, question.flow_key, token, False, granted.number)
 
     def take_answer(self, answer: PlaceAnswer, now: float) -> Held | None:
         """Process the answer to a placement request.
