--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -22,14 +22,15 @@
         sender: The requesting VM.
         flow_key: 12-byte flow key.
         service: Service that the flow's route selects.
-        tried: Tokens of the servers that earlier SYN packets of the flow were sent to.
+        tried_tokens: Tokens of the servers that earlier SYN packets of the flow were
+            sent to.
         is_long: Whether the flow is likely to carry many requests.
     """
 
     sender: VmId
     flow_key: bytes
     service: ServiceName
-    tried: tuple[int, ...]
+    tried_tokens: tuple[int, ...]
     is_long: bool
 
 
