--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -24,14 +24,14 @@
         service: Service that the flow's route selects.
         tried_tokens: Tokens of the servers that earlier SYN packets of the flow were
             sent to.
-        is_long: Whether the flow is likely to carry many requests.
+        expects_many_requests: Whether the flow is likely to carry many requests.
     """
 
     sender: VmId
     flow_key: bytes
     service: ServiceName
     tried_tokens: tuple[int, ...]
-    is_long: bool
+    expects_many_requests: bool
 
 
 class PlaceAnswer(NamedTuple):
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -78,7 +78,7 @@
 
     def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
-        opening = NewFlow(question.tried_tokens, question.is_long, now)
+        opening = NewFlow(question.tried_tokens, question.expects_many_requests, now)
         choice = self._choose(question.service, opening)
         me = self.settings.vm
         if choice is None:
