--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -39,7 +39,7 @@
 
     Attributes:
         sender: The answering VM.
-        flow: Flow key from the request.
+        flow_key: Flow key from the request.
         token: Token of the selected server, 0 if no server can take the flow.
         is_full: Whether the request queue of the selected server is full, so that the
             flow has to wait.
@@ -47,7 +47,7 @@
     """
 
     sender: VmId
-    flow: bytes
+    flow_key: bytes
     token: int
     is_full: bool
     grant: int
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -96,12 +96,12 @@
             The buffered SYN packet to forward now, None if there is none or every
             server is full.
         """
-        self.placers.answered(answer.sender, answer.flow)
-        held = self.waiting.by_flow.get(answer.flow)
+        self.placers.answered(answer.sender, answer.flow_key)
+        held = self.waiting.by_flow.get(answer.flow_key)
         if held is None:
             return None
         route = self.routes.routes.get(held.head.route)
-        service = route.select_service(answer.flow) if route else ServiceName("")
+        service = route.select_service(answer.flow_key) if route else ServiceName("")
         if answer.is_full:
             self.full_at[service] = now
             return None
