--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -119,7 +119,7 @@
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_here(head, service, now)
-        self._telling(answer.sender).used_reservation = answer.grant
+        self._telling(answer.sender).used_reservation = answer.reservation
         self.served_at[service] = now
         self.load.record_syn(head, answer.token, now)
         self._log_placed(head, entry, now, placer=answer.sender)
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -386,7 +386,7 @@
 def test_no_server_is_named_where_there_is_none():
     question = PlaceQuestion("e2", flow_of(1, ROUTE), "entries", (), False)
     answer = router().place_for(question, SETTLED)
-    assert (answer.token, answer.grant) == (0, 0)
+    assert (answer.token, answer.reservation) == (0, 0)
 
 
 def test_a_large_zone_tells_only_those_that_place():
