Rename Silence to Backoff

Usual term for the delay after a timeout.

Rename: libs/tokens/src/kumquatmux_tokens/placers.py Silence Backoff

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -53,7 +53,7 @@
     reservation: int
 
 
-class Silence:
+class Backoff:
     """Backoff from a VM that left placement requests unanswered.
 
     Attributes:
@@ -92,7 +92,7 @@
         self.settings = settings
         self.peers: tuple[VmId, ...] = ()
         self.ranks: dict[ServiceName, list[VmId]] = {}
-        self.silent: dict[VmId, Silence] = {}
+        self.silent: dict[VmId, Backoff] = {}
         self.asked: dict[bytes, Asked] = {}
 
     def set_peers(self, peers: tuple[VmId, ...]) -> None:
@@ -145,7 +145,7 @@
             self.is_open(flow, now)
 
     def _miss(self, asked: Asked, now: float) -> None:
-        silence = self.silent.setdefault(asked.vm, Silence())
+        silence = self.silent.setdefault(asked.vm, Backoff())
         if silence.until > asked.at:
             return
         settings = self.settings
