Rename until to expires_at

Time when the backoff expires.

Rename: libs/tokens/src/kumquatmux_tokens/placers.py until expires_at

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -57,12 +57,12 @@
     """Backoff from a VM that left placement requests unanswered.
 
     Attributes:
-        until: Time when the VM may be asked again, in monotonic seconds.
+        expires_at: Time when the VM may be asked again, in monotonic seconds.
         span: Duration of the latest backoff in seconds.
     """
 
     def __init__(self) -> None:
-        self.until = -math.inf
+        self.expires_at = -math.inf
         self.span = 0.0
 
 
@@ -109,7 +109,7 @@
         me = self.settings.vm
         for vm in self._rank(service):
             silence = self.silent.get(vm)
-            if vm == me or silence is None or silence.until <= now:
+            if vm == me or silence is None or silence.expires_at <= now:
                 return vm
         return me
 
@@ -146,14 +146,14 @@
 
     def _miss(self, asked: Asked, now: float) -> None:
         silence = self.silent.setdefault(asked.vm, Backoff())
-        if silence.until > asked.at:
+        if silence.expires_at > asked.at:
             return
         settings = self.settings
         silence.span = min(
             max(2 * silence.span, settings.coordinator_backoff_s),
             settings.coordinator_backoff_max_s,
         )
-        silence.until = now + silence.span
+        silence.expires_at = now + silence.span
         log_decision("placer-silent", placer=asked.vm, avoided_s=silence.span)
 
     def _rank(self, service: ServiceName) -> list[VmId]:
