--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -58,12 +58,12 @@
 
     Attributes:
         expires_at: Time when the VM may be asked again, in monotonic seconds.
-        span: Duration of the latest backoff in seconds.
+        duration_s: Duration of the latest backoff in seconds.
     """
 
     def __init__(self) -> None:
         self.expires_at = -math.inf
-        self.span = 0.0
+        self.duration_s = 0.0
 
 
 class Asked(NamedTuple):
@@ -149,12 +149,12 @@
         if silence.expires_at > asked.at:
             return
         settings = self.settings
-        silence.span = min(
-            max(2 * silence.span, settings.coordinator_backoff_s),
+        silence.duration_s = min(
+            max(2 * silence.duration_s, settings.coordinator_backoff_s),
             settings.coordinator_backoff_max_s,
         )
-        silence.expires_at = now + silence.span
-        log_decision("placer-silent", placer=asked.vm, avoided_s=silence.span)
+        silence.expires_at = now + silence.duration_s
+        log_decision("placer-silent", placer=asked.vm, avoided_s=silence.duration_s)
 
     def _rank(self, service: ServiceName) -> list[VmId]:
         ranked = self.ranks.get(service)
