Rename Asked to PendingRequest

A request without an answer yet.

Rename: libs/tokens/src/kumquatmux_tokens/placers.py Asked PendingRequest

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -66,7 +66,7 @@
         self.duration_s = 0.0
 
 
-class Asked(NamedTuple):
+class PendingRequest(NamedTuple):
     """A placement request that is not answered yet.
 
     Attributes:
@@ -93,7 +93,7 @@
         self.peers: tuple[VmId, ...] = ()
         self.ranks: dict[ServiceName, list[VmId]] = {}
         self.silent: dict[VmId, Backoff] = {}
-        self.asked: dict[bytes, Asked] = {}
+        self.asked: dict[bytes, PendingRequest] = {}
 
     def set_peers(self, peers: tuple[VmId, ...]) -> None:
         """Set the entry VMs of the zone."""
@@ -115,7 +115,7 @@
 
     def ask(self, vm: VmId, flow: bytes, now: float) -> None:
         """Record that a placement request was sent."""
-        self.asked[flow] = Asked(vm, now)
+        self.asked[flow] = PendingRequest(vm, now)
 
     def is_open(self, flow: bytes, now: float) -> bool:
         """Return whether an answer to a flow's placement request may still come.
@@ -144,7 +144,7 @@
         for flow in list(self.asked):
             self.is_open(flow, now)
 
-    def _miss(self, asked: Asked, now: float) -> None:
+    def _miss(self, asked: PendingRequest, now: float) -> None:
         silence = self.silent.setdefault(asked.vm, Backoff())
         if silence.expires_at > asked.at:
             return
