--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -71,11 +71,11 @@
 
     Attributes:
         vm: The VM that was asked.
-        at: Time when the request was sent, in monotonic seconds.
+        sent_at: Time when the request was sent, in monotonic seconds.
     """
 
     vm: VmId
-    at: float
+    sent_at: float
 
 
 class Placers:
@@ -126,7 +126,7 @@
         asked = self.asked.get(flow)
         if asked is None:
             return False
-        if now - asked.at < self.settings.placement_timeout_s:
+        if now - asked.sent_at < self.settings.placement_timeout_s:
             return True
         del self.asked[flow]
         self._miss(asked, now)
@@ -146,7 +146,7 @@
 
     def _miss(self, asked: PendingRequest, now: float) -> None:
         silence = self.silent.setdefault(asked.vm, Backoff())
-        if silence.expires_at > asked.at:
+        if silence.expires_at > asked.sent_at:
             return
         settings = self.settings
         silence.duration_s = min(
