Rename Placers to CoordinatorSelector

Selects placement coordinators.

Rename: libs/tokens/src/kumquatmux_tokens/placers.py Placers CoordinatorSelector

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -78,7 +78,7 @@
     sent_at: float
 
 
-class Placers:
+class CoordinatorSelector:
     """Selects placement coordinators and tracks requests to them.
 
     Attributes:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -21,7 +21,7 @@
     Reset,
     Wait,
 )
-from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion, Placers
+from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.waiting import Held, HeldTokens, WaitingOpenings
@@ -55,7 +55,7 @@
         self.load = LoadTracker(settings)
         self.held = HeldTokens(settings)
         self.waiting = WaitingOpenings(settings)
-        self.placers = Placers(settings)
+        self.placers = CoordinatorSelector(settings)
         self.tellings: dict[VmId, OutgoingReports] = {}
         self.shares = 0
         self.served_at: dict[ServiceName, float] = {}
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatmux_tokens.placers import Placers
+from kumquatmux_tokens.placers import CoordinatorSelector
 from kumquatmux_tokens.settings import TokenSettings
 
 PEERS = ("e1", "e2", "e3")
@@ -11,7 +11,7 @@
 
 @pytest.fixture
 def placers():
-    made = Placers(TokenSettings("e1", "a"))
+    made = CoordinatorSelector(TokenSettings("e1", "a"))
     made.set_peers(PEERS)
     return made
 
@@ -26,14 +26,14 @@
     for service in ("entries", "pagesetter", "depot-desk"):
         named = set()
         for vm in PEERS:
-            one = Placers(TokenSettings(vm, "a"))
+            one = CoordinatorSelector(TokenSettings(vm, "a"))
             one.set_peers(PEERS)
             named.add(one.placer(service, 0.0))
         assert len(named) == 1
 
 
 def test_a_vm_without_peers_places_itself():
-    assert Placers(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
+    assert CoordinatorSelector(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
 
 
 def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(placers):
