Rename until to expires_at

Time when the packet expires.

Rename: libs/tokens/src/kumquatmux_tokens/waiting.py until expires_at

--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -15,12 +15,12 @@
     Attributes:
         head: Its header fields.
         data: Its bytes.
-        until: Time when it is dropped, in monotonic seconds.
+        expires_at: Time when it is dropped, in monotonic seconds.
     """
 
     head: Head
     data: bytes
-    until: float
+    expires_at: float
 
 
 class HeldTokens:
@@ -57,7 +57,7 @@
     def sweep(self, now: float) -> None:
         """Drop packets that have been buffered for too long."""
         for token, waiting in list(self.by_token.items()):
-            kept = [one for one in waiting if one.until > now]
+            kept = [one for one in waiting if one.expires_at > now]
             self.count -= len(waiting) - len(kept)
             if kept:
                 self.by_token[token] = kept
@@ -89,14 +89,14 @@
             return False
         copy = min(head.copy, len(settings.syn_transmission_offsets_s) - 1)
         began = now - settings.syn_transmission_offsets_s[copy]
-        until = known.until if known else began + settings.caller_syn_timeout_s
+        until = known.expires_at if known else began + settings.caller_syn_timeout_s
         self.by_flow[head.flow] = Held(head, data, until)
         return True
 
     def due(self, now: float) -> list[Held]:
         """Drop packets whose callers no longer wait; return the other packets."""
         for flow, held in list(self.by_flow.items()):
-            if held.until <= now:
+            if held.expires_at <= now:
                 log_decision("opening-given-up", flow=flow.hex())
                 del self.by_flow[flow]
         return list(self.by_flow.values())
