--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -23,7 +23,7 @@
     expires_at: float
 
 
-class HeldTokens:
+class TokenLookupBuffer:
     """Packets that are buffered while their token is looked up.
 
     Attributes:
