Rename release to pop_packets

Removes and returns packets.

Rename: libs/tokens/src/kumquatmux_tokens/waiting.py release pop_packets

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -74,7 +74,7 @@
     def learn(self, record: ServerRecord, now: float) -> list[Held]:
         """Store a server's record; return the packets buffered for its token."""
         self.directory.store_record(record, now)
-        return self.held.release(record.token)
+        return self.held.pop_packets(record.token)
 
     def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -48,7 +48,7 @@
         self.count += 1
         return len(waiting) == 1
 
-    def release(self, token: int) -> list[Held]:
+    def pop_packets(self, token: int) -> list[Held]:
         """Remove and return the packets that carry a token."""
         released = self.by_token.pop(token, [])
         self.count -= len(released)
