--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -149,7 +149,7 @@
         """Remove expired flows, servers, buffered packets and placement requests."""
         self.load.remove_expired(now)
         self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
-        self.held.sweep(now)
+        self.held.remove_expired(now)
         self.placers.sweep(now)
 
     def _place(self, head: Head, now: float) -> Decision:
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -54,7 +54,7 @@
         self.count -= len(released)
         return released
 
-    def sweep(self, now: float) -> None:
+    def remove_expired(self, now: float) -> None:
         """Drop packets that have been buffered for too long."""
         for token, waiting in list(self.by_token.items()):
             kept = [one for one in waiting if one.expires_at > now]
