Rename WaitingOpenings to SynBuffer

Buffers SYN packets.

Rename: libs/tokens/src/kumquatmux_tokens/waiting.py WaitingOpenings SynBuffer

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -24,7 +24,7 @@
 from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.waiting import Held, TokenLookupBuffer, WaitingOpenings
+from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
 from kumquatmux_tokens.work import LoadShare, OutgoingReports, ServerLoad
 
 ANY_SEQUENCE = 0
@@ -54,7 +54,7 @@
         self.routes = RouteTable()
         self.load = LoadTracker(settings)
         self.held = TokenLookupBuffer(settings)
-        self.waiting = WaitingOpenings(settings)
+        self.waiting = SynBuffer(settings)
         self.placers = CoordinatorSelector(settings)
         self.tellings: dict[VmId, OutgoingReports] = {}
         self.shares = 0
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -66,7 +66,7 @@
             log_decision("token-unknown", token=token, dropped=len(waiting))
 
 
-class WaitingOpenings:
+class SynBuffer:
     """SYN packets that wait for a server, at most one for each flow.
 
     Attributes:
--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -4,7 +4,7 @@
 
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.waiting import WaitingOpenings
+from kumquatmux_tokens.waiting import SynBuffer
 
 SETTINGS = TokenSettings("e1", "a", syn_buffer_limit=2)
 
@@ -15,21 +15,21 @@
 
 @pytest.mark.parametrize(("copy", "left_s"), [(0, 1.4), (1, 1.2), (2, 0.8), (9, 0.8)])
 def test_an_opening_waits_as_long_as_its_caller(copy, left_s):
-    waiting = WaitingOpenings(SETTINGS)
+    waiting = SynBuffer(SETTINGS)
     waiting.put(opening(copy), b"", 10.0)
     assert len(waiting.due(10.0 + left_s - 0.01)) == 1
     assert waiting.due(10.0 + left_s + 0.01) == []
 
 
 def test_a_copy_does_not_make_the_caller_wait_longer():
-    waiting = WaitingOpenings(SETTINGS)
+    waiting = SynBuffer(SETTINGS)
     waiting.put(opening(0), b"", 10.0)
     waiting.put(opening(2), b"", 11.3)
     assert waiting.due(11.5) == []
 
 
 def test_there_is_room_for_so_many_only():
-    waiting = WaitingOpenings(SETTINGS)
+    waiting = SynBuffer(SETTINGS)
     assert waiting.put(opening(flow=b"1"), b"", 0.0)
     assert waiting.put(opening(flow=b"2"), b"", 0.0)
     assert not waiting.put(opening(flow=b"3"), b"", 0.0)
@@ -37,7 +37,7 @@
 
 
 def test_one_that_was_placed_waits_no_more():
-    waiting = WaitingOpenings(SETTINGS)
+    waiting = SynBuffer(SETTINGS)
     waiting.put(opening(), b"", 0.0)
     waiting.remove(b"f")
     assert waiting.due(0.1) == []
