--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -43,10 +43,10 @@
         """
         if self.count >= self.settings.token_buffer_limit:
             return False
-        waiting = self.by_token.setdefault(head.token, [])
-        waiting.append(Held(head, data, now + self.settings.token_lookup_timeout_s))
+        packets = self.by_token.setdefault(head.token, [])
+        packets.append(Held(head, data, now + self.settings.token_lookup_timeout_s))
         self.count += 1
-        return len(waiting) == 1
+        return len(packets) == 1
 
     def pop_packets(self, token: int) -> list[Held]:
         """Remove and return the packets that carry a token."""
