--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -56,14 +56,14 @@
 
     def remove_expired(self, now: float) -> None:
         """Drop packets that have been buffered for too long."""
-        for token, waiting in list(self.by_token.items()):
-            kept = [one for one in waiting if one.expires_at > now]
-            self.count -= len(waiting) - len(kept)
+        for token, packets in list(self.by_token.items()):
+            kept = [one for one in packets if one.expires_at > now]
+            self.count -= len(packets) - len(kept)
             if kept:
                 self.by_token[token] = kept
                 continue
             del self.by_token[token]
-            log_decision("token-unknown", token=token, dropped=len(waiting))
+            log_decision("token-unknown", token=token, dropped=len(packets))
 
 
 class SynBuffer:
