--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -50,9 +50,9 @@
 
     def pop_packets(self, token: int) -> list[Held]:
         """Remove and return the packets that carry a token."""
-        released = self.by_token.pop(token, [])
-        self.count -= len(released)
-        return released
+        packets = self.by_token.pop(token, [])
+        self.count -= len(packets)
+        return packets
 
     def remove_expired(self, now: float) -> None:
         """Drop packets that have been buffered for too long."""
