Rename known to buffered

The packet that is already buffered.

Rename: libs/tokens/src/kumquatmux_tokens/waiting.py known buffered

--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -84,12 +84,14 @@
         deadline.
         """
         settings = self.settings
-        known = self.by_flow.get(head.flow)
-        if known is None and len(self.by_flow) >= settings.syn_buffer_limit:
+        buffered = self.by_flow.get(head.flow)
+        if buffered is None and len(self.by_flow) >= settings.syn_buffer_limit:
             return False
         copy = min(head.copy, len(settings.syn_transmission_offsets_s) - 1)
         began = now - settings.syn_transmission_offsets_s[copy]
-        until = known.expires_at if known else began + settings.caller_syn_timeout_s
+        until = (
+            buffered.expires_at if buffered else began + settings.caller_syn_timeout_s
+        )
         self.by_flow[head.flow] = Held(head, data, until)
         return True
 
