Rename began to first_sent_at

Time of the first SYN packet.

Rename: libs/tokens/src/kumquatmux_tokens/waiting.py began first_sent_at

--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -88,9 +88,11 @@
         if buffered is None and len(self.by_flow) >= settings.syn_buffer_limit:
             return False
         copy = min(head.copy, len(settings.syn_transmission_offsets_s) - 1)
-        began = now - settings.syn_transmission_offsets_s[copy]
+        first_sent_at = now - settings.syn_transmission_offsets_s[copy]
         until = (
-            buffered.expires_at if buffered else began + settings.caller_syn_timeout_s
+            buffered.expires_at
+            if buffered
+            else first_sent_at + settings.caller_syn_timeout_s
         )
         self.by_flow[head.flow] = Held(head, data, until)
         return True
