Rename until to expires_at

Time when the packet expires.

Rename: libs/tokens/src/kumquatmux_tokens/waiting.py until expires_at

--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -89,12 +89,12 @@
             return False
         copy = min(head.copy, len(settings.syn_transmission_offsets_s) - 1)
         first_sent_at = now - settings.syn_transmission_offsets_s[copy]
-        until = (
+        expires_at = (
             buffered.expires_at
             if buffered
             else first_sent_at + settings.caller_syn_timeout_s
         )
-        self.by_flow[head.flow] = Held(head, data, until)
+        self.by_flow[head.flow] = Held(head, data, expires_at)
         return True
 
     def due(self, now: float) -> list[Held]:
