--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -99,8 +99,8 @@
 
     def due(self, now: float) -> list[Held]:
         """Drop packets whose callers no longer wait; return the other packets."""
-        for flow, held in list(self.by_flow.items()):
-            if held.expires_at <= now:
+        for flow, packet in list(self.by_flow.items()):
+            if packet.expires_at <= now:
                 log_decision("opening-given-up", flow=flow.hex())
                 del self.by_flow[flow]
         return list(self.by_flow.values())
