Rename ANY_SEQUENCE to SYN_RESET_SEQUENCE_NUMBER

Sequence number of a reset that answers a SYN.

Rename: libs/tokens/src/kumquatmux_tokens/router.py ANY_SEQUENCE SYN_RESET_SEQUENCE_NUMBER

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -27,7 +27,7 @@
 from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
 from kumquatmux_tokens.work import LoadShare, OutgoingReports, ServerLoad
 
-ANY_SEQUENCE = 0
+SYN_RESET_SEQUENCE_NUMBER = 0
 
 
 class TokenRouter:
@@ -292,7 +292,7 @@
     def _without_route(self, head: Head) -> Decision:
         if not self.routes.number:
             return Wait("no-document")
-        return Reset(ANY_SEQUENCE, "no-route")
+        return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
 
     def _without_server(self, head: Head, service: ServiceName, now: float) -> Decision:
         """Return the decision for a SYN packet of a service without servers.
@@ -304,7 +304,7 @@
         latest = self.served_at.get(service, self.started_at)
         if latest > now - self.settings.server_wait_s:
             return Wait("no-server-yet")
-        return Reset(ANY_SEQUENCE, "no-server")
+        return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
 
     def _log_placed(
         self, head: Head, entry: ServerEntry, now: float, **grounds: float | str
