Rename tellings to outgoing_reports

State of the reports to other VMs.

Rename: libs/tokens/src/kumquatmux_tokens/router.py tellings outgoing_reports

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -40,7 +40,7 @@
         held: Packets that are buffered while their token is looked up.
         waiting: SYN packets that are buffered until a server can take their flow.
         placers: Selects the VM that places the flows of each service.
-        tellings: State of the load reports to each other VM, by receiver.
+        outgoing_reports: State of the load reports to each other VM, by receiver.
         shares: Number of load reports sent.
         served_at: Time when each service last had a server for a flow.
         full_at: Time when another VM last answered that a service's servers are full.
@@ -56,7 +56,7 @@
         self.held = TokenLookupBuffer(settings)
         self.waiting = SynBuffer(settings)
         self.placers = CoordinatorSelector(settings)
-        self.tellings: dict[VmId, OutgoingReports] = {}
+        self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.shares = 0
         self.served_at: dict[ServiceName, float] = {}
         self.full_at: dict[ServiceName, float] = {}
@@ -129,9 +129,9 @@
         """Return the load reports that are due, each with its receiver."""
         groups = self._work_by_vm(now)
         told = []
-        for vm in groups.keys() | self.tellings.keys():
+        for vm in groups.keys() | self.outgoing_reports.keys():
             if vm not in self.placers.peers:
-                self.tellings.pop(vm, None)
+                self.outgoing_reports.pop(vm, None)
                 continue
             share = self._telling(vm).next_report(
                 self.settings.vm,
@@ -232,7 +232,7 @@
         return select_server(entries, opening, self.load, self.random)
 
     def _telling(self, vm: VmId) -> OutgoingReports:
-        return self.tellings.setdefault(vm, OutgoingReports())
+        return self.outgoing_reports.setdefault(vm, OutgoingReports())
 
     def _work_by_vm(self, now: float) -> dict[VmId, list[ServerLoad]]:
         """Return the load to report to each other VM.
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -341,7 +341,7 @@
         answer = PlaceAnswer(placer, head.flow, token, False, 9)
         held = made.take_answer(answer, SETTLED)
         assert made.place_as(held.head, answer, SETTLED).token == token
-    assert made.tellings[placer].used_reservation == 9
+    assert made.outgoing_reports[placer].used_reservation == 9
 
 
 def test_a_chosen_server_that_is_not_known_or_leaves_is_not_taken():
