--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -41,7 +41,7 @@
         waiting: SYN packets that are buffered until a server can take their flow.
         placers: Selects the VM that places the flows of each service.
         outgoing_reports: State of the load reports to each other VM, by receiver.
-        shares: Number of load reports sent.
+        report_count: Number of load reports sent.
         served_at: Time when each service last had a server for a flow.
         full_at: Time when another VM last answered that a service's servers are full.
     """
@@ -57,7 +57,7 @@
         self.waiting = SynBuffer(settings)
         self.placers = CoordinatorSelector(settings)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
-        self.shares = 0
+        self.report_count = 0
         self.served_at: dict[ServiceName, float] = {}
         self.full_at: dict[ServiceName, float] = {}
 
@@ -135,13 +135,13 @@
                 continue
             share = self._telling(vm).next_report(
                 self.settings.vm,
-                self.shares + 1,
+                self.report_count + 1,
                 groups.get(vm, []),
                 now,
                 self.settings.complete_report_interval_s,
             )
             if share is not None:
-                self.shares += 1
+                self.report_count += 1
                 told.append((vm, share))
         return told
 
