Rename served_at to last_served_at

Time when a service last had a server.

Rename: libs/tokens/src/kumquatmux_tokens/router.py served_at last_served_at

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -42,7 +42,7 @@
         placers: Selects the VM that places the flows of each service.
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
-        served_at: Time when each service last had a server for a flow.
+        last_served_at: Time when each service last had a server for a flow.
         full_at: Time when another VM last answered that a service's servers are full.
     """
 
@@ -58,7 +58,7 @@
         self.placers = CoordinatorSelector(settings)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
-        self.served_at: dict[ServiceName, float] = {}
+        self.last_served_at: dict[ServiceName, float] = {}
         self.full_at: dict[ServiceName, float] = {}
 
     def handle(self, head: Head, now: float) -> Decision:
@@ -120,7 +120,7 @@
         if entry is None or entry.record.report.service != service:
             return self._place_here(head, service, now)
         self._telling(answer.sender).used_reservation = answer.reservation
-        self.served_at[service] = now
+        self.last_served_at[service] = now
         self.load.record_syn(head, answer.token, now)
         self._log_placed(head, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
@@ -194,7 +194,7 @@
         choice = self._choose(service, opening)
         if choice is None:
             return self._without_server(head, service, now)
-        self.served_at[service] = now
+        self.last_served_at[service] = now
         if choice.is_full:
             return Wait("no-slot")
         token = choice.entry.record.token
@@ -301,7 +301,7 @@
         if the service had one, or this VM started, at most ``server_wait_s`` seconds
         ago. Otherwise the flow is refused at once.
         """
-        latest = self.served_at.get(service, self.started_at)
+        latest = self.last_served_at.get(service, self.started_at)
         if latest > now - self.settings.server_wait_s:
             return Wait("no-server-yet")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
