--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -43,7 +43,8 @@
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
         last_served_at: Time when each service last had a server for a flow.
-        full_at: Time when another VM last answered that a service's servers are full.
+        last_full_at: Time when another VM last answered that a service's servers are
+            full.
     """
 
     def __init__(self, settings: TokenSettings, random: Random, now: float) -> None:
@@ -59,7 +60,7 @@
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
         self.last_served_at: dict[ServiceName, float] = {}
-        self.full_at: dict[ServiceName, float] = {}
+        self.last_full_at: dict[ServiceName, float] = {}
 
     def handle(self, head: Head, now: float) -> Decision:
         """Return the decision for a packet."""
@@ -103,7 +104,7 @@
         route = self.routes.routes.get(held.head.route)
         service = route.select_service(answer.flow_key) if route else ServiceName("")
         if answer.is_full:
-            self.full_at[service] = now
+            self.last_full_at[service] = now
             return None
         return held
 
@@ -215,7 +216,7 @@
         Without this limit, every waiting SYN packet would be sent as a placement
         request at every tick, and the other VM would do little but refuse them.
         """
-        full_s = now - self.full_at.get(service, -math.inf)
+        full_s = now - self.last_full_at.get(service, -math.inf)
         if full_s < self.settings.placement_pause_s:
             return True
         is_cautious = full_s < self.settings.limited_placement_s
