--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -65,7 +65,7 @@
     def handle(self, head: Head, now: float) -> Decision:
         """Return the decision for a packet."""
         if head.is_opening:
-            return self._place(head, now)
+            return self._route_syn(head, now)
         return self._follow(head, now)
 
     def install(self, routes: RouteSet, now: float) -> bool:
@@ -153,7 +153,7 @@
         self.held.remove_expired(now)
         self.placers.sweep(now)
 
-    def _place(self, head: Head, now: float) -> Decision:
+    def _route_syn(self, head: Head, now: float) -> Decision:
         route = self.routes.routes.get(head.route)
         if route is None:
             return self._without_route(head)
