Rename _place_here to _place_locally

This VM selects the server.

Rename: libs/tokens/src/kumquatmux_tokens/router.py _place_here _place_locally

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -119,7 +119,7 @@
         service = route.select_service(head.flow)
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
-            return self._place_here(head, service, now)
+            return self._place_locally(head, service, now)
         self._telling(answer.sender).used_reservation = answer.reservation
         self.last_served_at[service] = now
         self.load.record_syn(head, answer.token, now)
@@ -175,10 +175,10 @@
         if head.flow in self.placers.asked:
             if self.placers.is_open(head.flow, now):
                 return Wait("asked")
-            return self._place_here(head, service, now)
+            return self._place_locally(head, service, now)
         placer = self.placers.placer(service, now)
         if placer == self.settings.vm:
-            return self._place_here(head, service, now)
+            return self._place_locally(head, service, now)
         if self._is_full(service, now):
             return Wait("no-slot")
         self.placers.ask(placer, head.flow, now)
@@ -186,7 +186,7 @@
         me = self.settings.vm
         return Ask(placer, PlaceQuestion(me, head.flow, service, tried, is_long))
 
-    def _place_here(self, head: Head, service: ServiceName, now: float) -> Decision:
+    def _place_locally(self, head: Head, service: ServiceName, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
         tried = (
             flow.tried_tokens if flow is not None and not flow.is_established else ()
