Rename _is_full to _is_placement_paused

Says what the predicate decides.

Rename: libs/tokens/src/kumquatmux_tokens/router.py _is_full _is_placement_paused

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -179,7 +179,7 @@
         placer = self.placers.placer(service, now)
         if placer == self.settings.vm:
             return self._place_locally(head, service, now)
-        if self._is_full(service, now):
+        if self._is_placement_paused(service, now):
             return Wait("no-slot")
         self.placers.ask(placer, head.flow, now)
         is_long = self.load.expects_many_requests(head.route)
@@ -210,7 +210,7 @@
         )
         return Forward(choice.entry.record, token)
 
-    def _is_full(self, service: ServiceName, now: float) -> bool:
+    def _is_placement_paused(self, service: ServiceName, now: float) -> bool:
         """Return whether to send no placement request because all servers were full.
 
         Without this limit, every waiting SYN packet would be sent as a placement
