--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -80,7 +80,7 @@
     def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
         opening = NewFlow(question.tried_tokens, question.expects_many_requests, now)
-        choice = self._choose(question.service, opening)
+        choice = self._select_server(question.service, opening)
         me = self.settings.vm
         if choice is None:
             return PlaceAnswer(me, question.flow_key, 0, False, 0)
@@ -192,7 +192,7 @@
             flow.tried_tokens if flow is not None and not flow.is_established else ()
         )
         opening = NewFlow(tried, self.load.expects_many_requests(head.route), now)
-        choice = self._choose(service, opening)
+        choice = self._select_server(service, opening)
         if choice is None:
             return self._without_server(head, service, now)
         self.last_served_at[service] = now
@@ -225,7 +225,9 @@
             and len(self.placers.asked) >= self.settings.limited_placement_requests
         )
 
-    def _choose(self, service: ServiceName, opening: NewFlow) -> Selection | None:
+    def _select_server(
+        self, service: ServiceName, opening: NewFlow
+    ) -> Selection | None:
         clashing = self.directory.colliding_tokens
         entries = self.directory.running_servers(service)
         if clashing:
