Rename _telling to _reports_to

State of the reports to one VM.

Rename: libs/tokens/src/kumquatmux_tokens/router.py _telling _reports_to

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -120,7 +120,7 @@
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_locally(head, service, now)
-        self._telling(answer.sender).used_reservation = answer.reservation
+        self._reports_to(answer.sender).used_reservation = answer.reservation
         self.last_served_at[service] = now
         self.load.record_syn(head, answer.token, now)
         self._log_placed(head, entry, now, placer=answer.sender)
@@ -134,7 +134,7 @@
             if vm not in self.placers.peers:
                 self.outgoing_reports.pop(vm, None)
                 continue
-            share = self._telling(vm).next_report(
+            share = self._reports_to(vm).next_report(
                 self.settings.vm,
                 self.report_count + 1,
                 groups.get(vm, []),
@@ -234,7 +234,7 @@
             entries = [one for one in entries if one.record.token not in clashing]
         return select_server(entries, opening, self.load, self.random)
 
-    def _telling(self, vm: VmId) -> OutgoingReports:
+    def _reports_to(self, vm: VmId) -> OutgoingReports:
         return self.outgoing_reports.setdefault(vm, OutgoingReports())
 
     def _work_by_vm(self, now: float) -> dict[VmId, list[ServerLoad]]:
