--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -128,7 +128,7 @@
 
     def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
         """Return the load reports that are due, each with its receiver."""
-        groups = self._work_by_vm(now)
+        groups = self._loads_by_receiver(now)
         told = []
         for vm in groups.keys() | self.outgoing_reports.keys():
             if vm not in self.placers.peers:
@@ -237,7 +237,7 @@
     def _reports_to(self, vm: VmId) -> OutgoingReports:
         return self.outgoing_reports.setdefault(vm, OutgoingReports())
 
-    def _work_by_vm(self, now: float) -> dict[VmId, list[ServerLoad]]:
+    def _loads_by_receiver(self, now: float) -> dict[VmId, list[ServerLoad]]:
         """Return the load to report to each other VM.
 
         In a zone with more than ``full_reporting_max_vms`` entry VMs, the load on a
