--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -66,7 +66,7 @@
         """Return the decision for a packet."""
         if head.is_opening:
             return self._route_syn(head, now)
-        return self._follow(head, now)
+        return self._route_by_token(head, now)
 
     def install(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
@@ -257,7 +257,7 @@
                 groups.setdefault(placer, []).append(one)
         return groups
 
-    def _follow(self, head: Head, now: float) -> Decision:
+    def _route_by_token(self, head: Head, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
         token = head.token
         if flow is not None and flow.is_established and token in flow.tried_tokens:
