Rename _is_lost to _is_server_lost

It is the server that may be lost.

Rename: libs/tokens/src/kumquatmux_tokens/router.py _is_lost _is_server_lost

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -273,12 +273,12 @@
         if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
             return Reset(head.acknowledged, "server-ended")
         self.load.record_packet(head, token, now)
-        if self._is_lost(head, entry.record, now):
+        if self._is_server_lost(head, entry.record, now):
             self.load.remove_flow(head.flow)
             return Reset(head.acknowledged, "server-silent")
         return Forward(entry.record, token)
 
-    def _is_lost(self, head: Head, record: ServerRecord, now: float) -> bool:
+    def _is_server_lost(self, head: Head, record: ServerRecord, now: float) -> bool:
         """Return whether a flow's server is gone, judged by two kinds of evidence.
 
         The caller retransmits while the server answers no caller of this VM. In
