Rename _without_route to _decide_without_route

Returns a decision.

Rename: libs/tokens/src/kumquatmux_tokens/router.py _without_route _decide_without_route

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -115,7 +115,7 @@
         """
         route = self.routes.routes.get(head.route)
         if route is None:
-            return self._without_route(head)
+            return self._decide_without_route(head)
         service = route.select_service(head.flow)
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
@@ -156,7 +156,7 @@
     def _route_syn(self, head: Head, now: float) -> Decision:
         route = self.routes.routes.get(head.route)
         if route is None:
-            return self._without_route(head)
+            return self._decide_without_route(head)
         service = route.select_service(head.flow)
         flow = self.load.flows.get(head.flow)
         is_copy = flow is not None and not flow.is_established
@@ -292,7 +292,7 @@
             record.is_late or is_cut_off or self.load.has_unanswered_syns(record.token)
         )
 
-    def _without_route(self, head: Head) -> Decision:
+    def _decide_without_route(self, head: Head) -> Decision:
         if not self.routes.number:
             return Wait("no-document")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
