Rename _without_server to _decide_without_server

Returns a decision.

Rename: libs/tokens/src/kumquatmux_tokens/router.py _without_server _decide_without_server

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -194,7 +194,7 @@
         opening = NewFlow(tried, self.load.expects_many_requests(head.route), now)
         choice = self._select_server(service, opening)
         if choice is None:
-            return self._without_server(head, service, now)
+            return self._decide_without_server(head, service, now)
         self.last_served_at[service] = now
         if choice.is_full:
             return Wait("no-slot")
@@ -297,7 +297,9 @@
             return Wait("no-document")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
 
-    def _without_server(self, head: Head, service: ServiceName, now: float) -> Decision:
+    def _decide_without_server(
+        self, head: Head, service: ServiceName, now: float
+    ) -> Decision:
         """Return the decision for a SYN packet of a service without servers.
 
         The packet waits if a server is likely to come while the caller waits, that is,
