Rename _log_placed to _log_placement

Names what is logged.

Rename: libs/tokens/src/kumquatmux_tokens/router.py _log_placed _log_placement

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -123,7 +123,7 @@
         self._reports_to(answer.sender).used_reservation = answer.reservation
         self.last_served_at[service] = now
         self.load.record_syn(head, answer.token, now)
-        self._log_placed(head, entry, now, placer=answer.sender)
+        self._log_placement(head, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
     def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
@@ -200,7 +200,7 @@
             return Wait("no-slot")
         token = choice.entry.record.token
         self.load.record_syn(head, token, now)
-        self._log_placed(
+        self._log_placement(
             head,
             choice.entry,
             now,
@@ -311,7 +311,7 @@
             return Wait("no-server-yet")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
 
-    def _log_placed(
+    def _log_placement(
         self, head: Head, entry: ServerEntry, now: float, **grounds: float | str
     ) -> None:
         report = entry.record.report
