Rename _log_strike to _log_unanswered_syn

Names what is logged.

Rename: libs/tokens/src/kumquatmux_tokens/router.py _log_strike _log_unanswered_syn

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -166,7 +166,7 @@
         )
         if flow is not None and is_copy and head.copy and not is_soon:
             if self.load.record_unanswered_syn(flow, now):
-                self._log_strike(head, flow.token)
+                self._log_unanswered_syn(head, flow.token)
         elif flow is not None and is_copy:
             entry = self.directory.by_token.get(flow.token)
             if entry is not None and entry.ended_at is None:
@@ -327,7 +327,7 @@
             **grounds,
         )
 
-    def _log_strike(self, head: Head, token: int) -> None:
+    def _log_unanswered_syn(self, head: Head, token: int) -> None:
         work = self.load.local_load_at(token)
         log_decision(
             "server-unanswered",
