--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -312,7 +312,7 @@
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
 
     def _log_placement(
-        self, head: Head, entry: ServerEntry, now: float, **grounds: float | str
+        self, head: Head, entry: ServerEntry, now: float, **details: float | str
     ) -> None:
         report = entry.record.report
         log_decision(
@@ -324,7 +324,7 @@
             server=report.lifetime,
             token=entry.record.token,
             known_s=round(now - entry.first_known_at, 1),
-            **grounds,
+            **details,
         )
 
     def _log_unanswered_syn(self, head: Head, token: int) -> None:
