--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -328,10 +328,10 @@
         )
 
     def _log_unanswered_syn(self, head: Head, token: int) -> None:
-        work = self.load.local_load_at(token)
+        load = self.load.local_load_at(token)
         log_decision(
             "server-unanswered",
             flow=head.flow.hex(),
             token=token,
-            strikes=work.unanswered_syns,
+            strikes=load.unanswered_syns,
         )
