--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -216,10 +216,10 @@
         Without this limit, every waiting SYN packet would be sent as a placement
         request at every tick, and the other VM would do little but refuse them.
         """
-        full_s = now - self.last_full_at.get(service, -math.inf)
-        if full_s < self.settings.placement_pause_s:
+        since_full_s = now - self.last_full_at.get(service, -math.inf)
+        if since_full_s < self.settings.placement_pause_s:
             return True
-        is_cautious = full_s < self.settings.limited_placement_s
+        is_cautious = since_full_s < self.settings.limited_placement_s
         return (
             is_cautious
             and len(self.placers.asked) >= self.settings.limited_placement_requests
