Rename is_cautious to is_limited

The number of requests is limited.

Rename: libs/tokens/src/kumquatmux_tokens/router.py is_cautious is_limited

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -219,9 +219,9 @@
         since_full_s = now - self.last_full_at.get(service, -math.inf)
         if since_full_s < self.settings.placement_pause_s:
             return True
-        is_cautious = since_full_s < self.settings.limited_placement_s
+        is_limited = since_full_s < self.settings.limited_placement_s
         return (
-            is_cautious
+            is_limited
             and len(self.placers.asked) >= self.settings.limited_placement_requests
         )
 
