Rename is_copy to is_retransmission

The SYN is sent again.

Rename: libs/tokens/src/kumquatmux_tokens/router.py is_copy is_retransmission

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -159,19 +159,19 @@
             return self._decide_without_route(head)
         service = route.select_service(head.flow)
         flow = self.load.flows.get(head.flow)
-        is_copy = flow is not None and not flow.is_established
+        is_retransmission = flow is not None and not flow.is_established
         is_soon = (
             flow is not None
             and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
         )
-        if flow is not None and is_copy and head.copy and not is_soon:
+        if flow is not None and is_retransmission and head.copy and not is_soon:
             if self.load.record_unanswered_syn(flow, now):
                 self._log_unanswered_syn(head, flow.token)
-        elif flow is not None and is_copy:
+        elif flow is not None and is_retransmission:
             entry = self.directory.by_token.get(flow.token)
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, flow.token)
-        tried = flow.tried_tokens if flow is not None and is_copy else ()
+        tried = flow.tried_tokens if flow is not None and is_retransmission else ()
         if head.flow in self.placers.asked:
             if self.placers.is_open(head.flow, now):
                 return Wait("asked")
