--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -160,11 +160,11 @@
         service = route.select_service(head.flow)
         flow = self.load.flows.get(head.flow)
         is_retransmission = flow is not None and not flow.is_established
-        is_soon = (
+        is_too_soon = (
             flow is not None
             and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
         )
-        if flow is not None and is_retransmission and head.copy and not is_soon:
+        if flow is not None and is_retransmission and head.copy and not is_too_soon:
             if self.load.record_unanswered_syn(flow, now):
                 self._log_unanswered_syn(head, flow.token)
         elif flow is not None and is_retransmission:
