--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -171,7 +171,9 @@
             entry = self.directory.by_token.get(flow.token)
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, flow.token)
-        tried = flow.tried_tokens if flow is not None and is_retransmission else ()
+        tried_tokens = (
+            flow.tried_tokens if flow is not None and is_retransmission else ()
+        )
         if head.flow in self.placers.asked:
             if self.placers.is_open(head.flow, now):
                 return Wait("asked")
@@ -184,7 +186,7 @@
         self.placers.ask(placer, head.flow, now)
         is_long = self.load.expects_many_requests(head.route)
         me = self.settings.vm
-        return Ask(placer, PlaceQuestion(me, head.flow, service, tried, is_long))
+        return Ask(placer, PlaceQuestion(me, head.flow, service, tried_tokens, is_long))
 
     def _place_locally(self, head: Head, service: ServiceName, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
