--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -178,15 +178,17 @@
             if self.placers.is_open(head.flow, now):
                 return Wait("asked")
             return self._place_locally(head, service, now)
-        placer = self.placers.placer(service, now)
-        if placer == self.settings.vm:
+        coordinator = self.placers.placer(service, now)
+        if coordinator == self.settings.vm:
             return self._place_locally(head, service, now)
         if self._is_placement_paused(service, now):
             return Wait("no-slot")
-        self.placers.ask(placer, head.flow, now)
+        self.placers.ask(coordinator, head.flow, now)
         is_long = self.load.expects_many_requests(head.route)
         me = self.settings.vm
-        return Ask(placer, PlaceQuestion(me, head.flow, service, tried_tokens, is_long))
+        return Ask(
+            coordinator, PlaceQuestion(me, head.flow, service, tried_tokens, is_long)
+        )
 
     def _place_locally(self, head: Head, service: ServiceName, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
