--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -184,10 +184,11 @@
         if self._is_placement_paused(service, now):
             return Wait("no-slot")
         self.placers.ask(coordinator, head.flow, now)
-        is_long = self.load.expects_many_requests(head.route)
+        expects_many_requests = self.load.expects_many_requests(head.route)
         me = self.settings.vm
         return Ask(
-            coordinator, PlaceQuestion(me, head.flow, service, tried_tokens, is_long)
+            coordinator,
+            PlaceQuestion(me, head.flow, service, tried_tokens, expects_many_requests),
         )
 
     def _place_locally(self, head: Head, service: ServiceName, now: float) -> Decision:
