--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -193,10 +193,12 @@
 
     def _place_locally(self, head: Head, service: ServiceName, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
-        tried = (
+        tried_tokens = (
             flow.tried_tokens if flow is not None and not flow.is_established else ()
         )
-        opening = NewFlow(tried, self.load.expects_many_requests(head.route), now)
+        opening = NewFlow(
+            tried_tokens, self.load.expects_many_requests(head.route), now
+        )
         choice = self._select_server(service, opening)
         if choice is None:
             return self._decide_without_server(head, service, now)
