--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -196,10 +196,10 @@
         tried_tokens = (
             flow.tried_tokens if flow is not None and not flow.is_established else ()
         )
-        opening = NewFlow(
+        new_flow = NewFlow(
             tried_tokens, self.load.expects_many_requests(head.route), now
         )
-        choice = self._select_server(service, opening)
+        choice = self._select_server(service, new_flow)
         if choice is None:
             return self._decide_without_server(head, service, now)
         self.last_served_at[service] = now
