--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -199,23 +199,23 @@
         new_flow = NewFlow(
             tried_tokens, self.load.expects_many_requests(head.route), now
         )
-        choice = self._select_server(service, new_flow)
-        if choice is None:
+        selection = self._select_server(service, new_flow)
+        if selection is None:
             return self._decide_without_server(head, service, now)
         self.last_served_at[service] = now
-        if choice.is_full:
+        if selection.is_full:
             return Wait("no-slot")
-        token = choice.entry.record.token
+        token = selection.entry.record.token
         self.load.record_syn(head, token, now)
         self._log_placement(
             head,
-            choice.entry,
+            selection.entry,
             now,
-            cost=round(choice.cost, 3),
-            candidates=choice.candidate_count,
-            grade=choice.priority_level,
+            cost=round(selection.cost, 3),
+            candidates=selection.candidate_count,
+            grade=selection.priority_level,
         )
-        return Forward(choice.entry.record, token)
+        return Forward(selection.entry.record, token)
 
     def _is_placement_paused(self, service: ServiceName, now: float) -> bool:
         """Return whether to send no placement request because all servers were full.
