--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -233,13 +233,13 @@
         )
 
     def _select_server(
-        self, service: ServiceName, opening: NewFlow
+        self, service: ServiceName, new_flow: NewFlow
     ) -> Selection | None:
         clashing = self.directory.colliding_tokens
         entries = self.directory.running_servers(service)
         if clashing:
             entries = [one for one in entries if one.record.token not in clashing]
-        return select_server(entries, opening, self.load, self.random)
+        return select_server(entries, new_flow, self.load, self.random)
 
     def _reports_to(self, vm: VmId) -> OutgoingReports:
         return self.outgoing_reports.setdefault(vm, OutgoingReports())
