--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -235,10 +235,12 @@
     def _select_server(
         self, service: ServiceName, new_flow: NewFlow
     ) -> Selection | None:
-        clashing = self.directory.colliding_tokens
+        colliding_tokens = self.directory.colliding_tokens
         entries = self.directory.running_servers(service)
-        if clashing:
-            entries = [one for one in entries if one.record.token not in clashing]
+        if colliding_tokens:
+            entries = [
+                one for one in entries if one.record.token not in colliding_tokens
+            ]
         return select_server(entries, new_flow, self.load, self.random)
 
     def _reports_to(self, vm: VmId) -> OutgoingReports:
