--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -252,12 +252,12 @@
         In a zone with more than ``full_reporting_max_vms`` entry VMs, the load on a
         server is reported only to the VM that places the flows of its service.
         """
-        work = self.load.reportable_loads(now)
+        loads = self.load.reportable_loads(now)
         others = [vm for vm in self.placers.peers if vm != self.settings.vm]
         if len(others) < self.settings.full_reporting_max_vms:
-            return {vm: work for vm in others}
+            return {vm: loads for vm in others}
         groups: dict[VmId, list[ServerLoad]] = {}
-        for one in work:
+        for one in loads:
             entry = self.directory.by_token.get(one.token)
             if entry is None:
                 continue
