--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -256,15 +256,15 @@
         others = [vm for vm in self.placers.peers if vm != self.settings.vm]
         if len(others) < self.settings.full_reporting_max_vms:
             return {vm: loads for vm in others}
-        groups: dict[VmId, list[ServerLoad]] = {}
+        by_receiver: dict[VmId, list[ServerLoad]] = {}
         for one in loads:
             entry = self.directory.by_token.get(one.token)
             if entry is None:
                 continue
             placer = self.placers.placer(entry.record.report.service, now)
             if placer != self.settings.vm:
-                groups.setdefault(placer, []).append(one)
-        return groups
+                by_receiver.setdefault(placer, []).append(one)
+        return by_receiver
 
     def _route_by_token(self, head: Head, now: float) -> Decision:
         flow = self.load.flows.get(head.flow)
