--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -253,9 +253,9 @@
         server is reported only to the VM that places the flows of its service.
         """
         loads = self.load.reportable_loads(now)
-        others = [vm for vm in self.placers.peers if vm != self.settings.vm]
-        if len(others) < self.settings.full_reporting_max_vms:
-            return {vm: loads for vm in others}
+        receivers = [vm for vm in self.placers.peers if vm != self.settings.vm]
+        if len(receivers) < self.settings.full_reporting_max_vms:
+            return {vm: loads for vm in receivers}
         by_receiver: dict[VmId, list[ServerLoad]] = {}
         for one in loads:
             entry = self.directory.by_token.get(one.token)
