--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -257,13 +257,13 @@
         if len(receivers) < self.settings.full_reporting_max_vms:
             return {vm: loads for vm in receivers}
         by_receiver: dict[VmId, list[ServerLoad]] = {}
-        for one in loads:
-            entry = self.directory.by_token.get(one.token)
+        for load in loads:
+            entry = self.directory.by_token.get(load.token)
             if entry is None:
                 continue
             placer = self.placers.placer(entry.record.report.service, now)
             if placer != self.settings.vm:
-                by_receiver.setdefault(placer, []).append(one)
+                by_receiver.setdefault(placer, []).append(load)
         return by_receiver
 
     def _route_by_token(self, head: Head, now: float) -> Decision:
