--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -261,9 +261,9 @@
             entry = self.directory.by_token.get(load.token)
             if entry is None:
                 continue
-            placer = self.placers.placer(entry.record.report.service, now)
-            if placer != self.settings.vm:
-                by_receiver.setdefault(placer, []).append(load)
+            coordinator = self.placers.placer(entry.record.report.service, now)
+            if coordinator != self.settings.vm:
+                by_receiver.setdefault(coordinator, []).append(load)
         return by_receiver
 
     def _route_by_token(self, head: Head, now: float) -> Decision:
