--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -296,9 +296,11 @@
         """
         if not head.length or not self.load.is_server_unresponsive(head.flow, now):
             return False
-        is_cut_off = record.report.zone in self.load.silent_zones
+        is_zone_unreachable = record.report.zone in self.load.silent_zones
         return (
-            record.is_late or is_cut_off or self.load.has_unanswered_syns(record.token)
+            record.is_late
+            or is_zone_unreachable
+            or self.load.has_unanswered_syns(record.token)
         )
 
     def _decide_without_route(self, head: Head) -> Decision:
