--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -82,7 +82,7 @@
     """Selects placement coordinators and tracks requests to them.
 
     Attributes:
-        peers: Entry VMs of the zone, including this one.
+        entry_vms: Entry VMs of the zone, including this one.
         ranks: Entry VMs in order of preference, by service.
         silent: Backoff from each VM that left placement requests unanswered.
         asked: Unanswered placement requests by flow key.
@@ -90,15 +90,15 @@
 
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
-        self.peers: tuple[VmId, ...] = ()
+        self.entry_vms: tuple[VmId, ...] = ()
         self.ranks: dict[ServiceName, list[VmId]] = {}
         self.silent: dict[VmId, Backoff] = {}
         self.asked: dict[bytes, PendingRequest] = {}
 
     def set_peers(self, peers: tuple[VmId, ...]) -> None:
         """Set the entry VMs of the zone."""
-        if peers != self.peers:
-            self.peers = peers
+        if peers != self.entry_vms:
+            self.entry_vms = peers
             self.ranks.clear()
 
     def placer(self, service: ServiceName, now: float) -> VmId:
@@ -159,6 +159,6 @@
     def _rank(self, service: ServiceName) -> list[VmId]:
         ranked = self.ranks.get(service)
         if ranked is None:
-            names = rendezvous.rank(service.encode(), self.peers)
+            names = rendezvous.rank(service.encode(), self.entry_vms)
             ranked = self.ranks[service] = [VmId(name) for name in names]
         return ranked
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -131,7 +131,7 @@
         groups = self._loads_by_receiver(now)
         told = []
         for vm in groups.keys() | self.outgoing_reports.keys():
-            if vm not in self.placers.peers:
+            if vm not in self.placers.entry_vms:
                 self.outgoing_reports.pop(vm, None)
                 continue
             share = self._reports_to(vm).next_report(
@@ -253,7 +253,7 @@
         server is reported only to the VM that places the flows of its service.
         """
         loads = self.load.reportable_loads(now)
-        receivers = [vm for vm in self.placers.peers if vm != self.settings.vm]
+        receivers = [vm for vm in self.placers.entry_vms if vm != self.settings.vm]
         if len(receivers) < self.settings.full_reporting_max_vms:
             return {vm: loads for vm in receivers}
         by_receiver: dict[VmId, list[ServerLoad]] = {}
