--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -83,7 +83,7 @@
 
     Attributes:
         entry_vms: Entry VMs of the zone, including this one.
-        ranks: Entry VMs in order of preference, by service.
+        rankings: Entry VMs in order of preference, by service.
         silent: Backoff from each VM that left placement requests unanswered.
         asked: Unanswered placement requests by flow key.
     """
@@ -91,7 +91,7 @@
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
         self.entry_vms: tuple[VmId, ...] = ()
-        self.ranks: dict[ServiceName, list[VmId]] = {}
+        self.rankings: dict[ServiceName, list[VmId]] = {}
         self.silent: dict[VmId, Backoff] = {}
         self.asked: dict[bytes, PendingRequest] = {}
 
@@ -99,7 +99,7 @@
         """Set the entry VMs of the zone."""
         if peers != self.entry_vms:
             self.entry_vms = peers
-            self.ranks.clear()
+            self.rankings.clear()
 
     def placer(self, service: ServiceName, now: float) -> VmId:
         """Return the placement coordinator of a service.
@@ -157,8 +157,8 @@
         log_decision("placer-silent", placer=asked.vm, avoided_s=silence.duration_s)
 
     def _rank(self, service: ServiceName) -> list[VmId]:
-        ranked = self.ranks.get(service)
+        ranked = self.rankings.get(service)
         if ranked is None:
             names = rendezvous.rank(service.encode(), self.entry_vms)
-            ranked = self.ranks[service] = [VmId(name) for name in names]
+            ranked = self.rankings[service] = [VmId(name) for name in names]
         return ranked
