--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -84,7 +84,7 @@
     Attributes:
         entry_vms: Entry VMs of the zone, including this one.
         rankings: Entry VMs in order of preference, by service.
-        silent: Backoff from each VM that left placement requests unanswered.
+        backoffs: Backoff from each VM that left placement requests unanswered.
         asked: Unanswered placement requests by flow key.
     """
 
@@ -92,7 +92,7 @@
         self.settings = settings
         self.entry_vms: tuple[VmId, ...] = ()
         self.rankings: dict[ServiceName, list[VmId]] = {}
-        self.silent: dict[VmId, Backoff] = {}
+        self.backoffs: dict[VmId, Backoff] = {}
         self.asked: dict[bytes, PendingRequest] = {}
 
     def set_peers(self, peers: tuple[VmId, ...]) -> None:
@@ -108,7 +108,7 @@
         """
         me = self.settings.vm
         for vm in self._rank(service):
-            silence = self.silent.get(vm)
+            silence = self.backoffs.get(vm)
             if vm == me or silence is None or silence.expires_at <= now:
                 return vm
         return me
@@ -134,7 +134,7 @@
 
     def answered(self, vm: VmId, flow: bytes) -> None:
         """Record an answer to a placement request and end the VM's backoff."""
-        self.silent.pop(vm, None)
+        self.backoffs.pop(vm, None)
         asked = self.asked.get(flow)
         if asked is not None and asked.vm == vm:
             del self.asked[flow]
@@ -145,7 +145,7 @@
             self.is_open(flow, now)
 
     def _miss(self, asked: PendingRequest, now: float) -> None:
-        silence = self.silent.setdefault(asked.vm, Backoff())
+        silence = self.backoffs.setdefault(asked.vm, Backoff())
         if silence.expires_at > asked.sent_at:
             return
         settings = self.settings
