Rename asked to pending_requests

Holds requests without an answer yet.

Rename: libs/tokens/src/kumquatmux_tokens/placers.py asked pending_requests

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -85,7 +85,7 @@
         entry_vms: Entry VMs of the zone, including this one.
         rankings: Entry VMs in order of preference, by service.
         backoffs: Backoff from each VM that left placement requests unanswered.
-        asked: Unanswered placement requests by flow key.
+        pending_requests: Unanswered placement requests by flow key.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
@@ -93,7 +93,7 @@
         self.entry_vms: tuple[VmId, ...] = ()
         self.rankings: dict[ServiceName, list[VmId]] = {}
         self.backoffs: dict[VmId, Backoff] = {}
-        self.asked: dict[bytes, PendingRequest] = {}
+        self.pending_requests: dict[bytes, PendingRequest] = {}
 
     def set_peers(self, peers: tuple[VmId, ...]) -> None:
         """Set the entry VMs of the zone."""
@@ -115,7 +115,7 @@
 
     def ask(self, vm: VmId, flow: bytes, now: float) -> None:
         """Record that a placement request was sent."""
-        self.asked[flow] = PendingRequest(vm, now)
+        self.pending_requests[flow] = PendingRequest(vm, now)
 
     def is_open(self, flow: bytes, now: float) -> bool:
         """Return whether an answer to a flow's placement request may still come.
@@ -123,25 +123,25 @@
         A request that has timed out is removed, and the VM that was asked is avoided
         for a while.
         """
-        asked = self.asked.get(flow)
+        asked = self.pending_requests.get(flow)
         if asked is None:
             return False
         if now - asked.sent_at < self.settings.placement_timeout_s:
             return True
-        del self.asked[flow]
+        del self.pending_requests[flow]
         self._miss(asked, now)
         return False
 
     def answered(self, vm: VmId, flow: bytes) -> None:
         """Record an answer to a placement request and end the VM's backoff."""
         self.backoffs.pop(vm, None)
-        asked = self.asked.get(flow)
+        asked = self.pending_requests.get(flow)
         if asked is not None and asked.vm == vm:
-            del self.asked[flow]
+            del self.pending_requests[flow]
 
     def sweep(self, now: float) -> None:
         """Remove placement requests that have timed out."""
-        for flow in list(self.asked):
+        for flow in list(self.pending_requests):
             self.is_open(flow, now)
 
     def _miss(self, asked: PendingRequest, now: float) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -174,7 +174,7 @@
         tried_tokens = (
             flow.tried_tokens if flow is not None and is_retransmission else ()
         )
-        if head.flow in self.placers.asked:
+        if head.flow in self.placers.pending_requests:
             if self.placers.is_open(head.flow, now):
                 return Wait("asked")
             return self._place_locally(head, service, now)
@@ -229,7 +229,8 @@
         is_limited = since_full_s < self.settings.limited_placement_s
         return (
             is_limited
-            and len(self.placers.asked) >= self.settings.limited_placement_requests
+            and len(self.placers.pending_requests)
+            >= self.settings.limited_placement_requests
         )
 
     def _select_server(
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -68,4 +68,4 @@
 def test_questions_that_nobody_minds_are_dropped(placers):
     placers.ask("e2", FLOW, 0.0)
     placers.sweep(0.5)
-    assert placers.asked == {}
+    assert placers.pending_requests == {}
