Rename ask to record_request

The request is recorded, not sent.

Rename: libs/tokens/src/kumquatmux_tokens/placers.py ask record_request

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -113,7 +113,7 @@
                 return vm
         return me
 
-    def ask(self, vm: VmId, flow: bytes, now: float) -> None:
+    def record_request(self, vm: VmId, flow: bytes, now: float) -> None:
         """Record that a placement request was sent."""
         self.pending_requests[flow] = PendingRequest(vm, now)
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -183,7 +183,7 @@
             return self._place_locally(head, service, now)
         if self._is_placement_paused(service, now):
             return Wait("no-slot")
-        self.placers.ask(coordinator, head.flow, now)
+        self.placers.record_request(coordinator, head.flow, now)
         expects_many_requests = self.load.expects_many_requests(head.route)
         me = self.settings.vm
         return Ask(
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -42,7 +42,7 @@
 def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(placers):
     service = others_service(placers)
     first = placers.coordinator_for(service, 0.0)
-    placers.ask(first, FLOW, 0.0)
+    placers.record_request(first, FLOW, 0.0)
     assert placers.is_open(FLOW, 0.02)
     assert not placers.is_open(FLOW, 0.04)
     assert placers.coordinator_for(service, 0.1) != first
@@ -53,7 +53,7 @@
     service = others_service(placers)
     first = placers.coordinator_for(service, 0.0)
     for start in (0.0, 1.1):
-        placers.ask(first, FLOW, start)
+        placers.record_request(first, FLOW, start)
         placers.is_open(FLOW, start + 0.04)
     assert placers.coordinator_for(service, 3.0) != first
     assert placers.coordinator_for(service, 3.2) == first
@@ -62,13 +62,13 @@
 def test_an_answer_ends_the_doubt(placers):
     service = others_service(placers)
     first = placers.coordinator_for(service, 0.0)
-    placers.ask(first, FLOW, 0.0)
+    placers.record_request(first, FLOW, 0.0)
     placers.is_open(FLOW, 0.04)
     placers.answered(first, FLOW)
     assert placers.coordinator_for(service, 0.05) == first
 
 
 def test_questions_that_nobody_minds_are_dropped(placers):
-    placers.ask("e2", FLOW, 0.0)
+    placers.record_request("e2", FLOW, 0.0)
     placers.sweep(0.5)
     assert placers.pending_requests == {}
