--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -117,7 +117,7 @@
         """Record that a placement request was sent."""
         self.pending_requests[flow] = PendingRequest(vm, now)
 
-    def is_open(self, flow: bytes, now: float) -> bool:
+    def is_pending(self, flow: bytes, now: float) -> bool:
         """Return whether an answer to a flow's placement request may still come.
 
         A request that has timed out is removed, and the VM that was asked is avoided
@@ -142,7 +142,7 @@
     def sweep(self, now: float) -> None:
         """Remove placement requests that have timed out."""
         for flow in list(self.pending_requests):
-            self.is_open(flow, now)
+            self.is_pending(flow, now)
 
     def _miss(self, asked: PendingRequest, now: float) -> None:
         silence = self.backoffs.setdefault(asked.vm, Backoff())
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -175,7 +175,7 @@
             flow.tried_tokens if flow is not None and is_retransmission else ()
         )
         if head.flow in self.placers.pending_requests:
-            if self.placers.is_open(head.flow, now):
+            if self.placers.is_pending(head.flow, now):
                 return Wait("asked")
             return self._place_locally(head, service, now)
         coordinator = self.placers.coordinator_for(service, now)
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -43,8 +43,8 @@
     service = others_service(placers)
     first = placers.coordinator_for(service, 0.0)
     placers.record_request(first, FLOW, 0.0)
-    assert placers.is_open(FLOW, 0.02)
-    assert not placers.is_open(FLOW, 0.04)
+    assert placers.is_pending(FLOW, 0.02)
+    assert not placers.is_pending(FLOW, 0.04)
     assert placers.coordinator_for(service, 0.1) != first
     assert placers.coordinator_for(service, 1.1) == first
 
@@ -54,7 +54,7 @@
     first = placers.coordinator_for(service, 0.0)
     for start in (0.0, 1.1):
         placers.record_request(first, FLOW, start)
-        placers.is_open(FLOW, start + 0.04)
+        placers.is_pending(FLOW, start + 0.04)
     assert placers.coordinator_for(service, 3.0) != first
     assert placers.coordinator_for(service, 3.2) == first
 
@@ -63,7 +63,7 @@
     service = others_service(placers)
     first = placers.coordinator_for(service, 0.0)
     placers.record_request(first, FLOW, 0.0)
-    placers.is_open(FLOW, 0.04)
+    placers.is_pending(FLOW, 0.04)
     placers.answered(first, FLOW)
     assert placers.coordinator_for(service, 0.05) == first
 
