Rename answered to record_answer

Names the operation and its object.

Rename: libs/tokens/src/kumquatmux_tokens/placers.py answered record_answer

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -132,7 +132,7 @@
         self._miss(asked, now)
         return False
 
-    def answered(self, vm: VmId, flow: bytes) -> None:
+    def record_answer(self, vm: VmId, flow: bytes) -> None:
         """Record an answer to a placement request and end the VM's backoff."""
         self.backoffs.pop(vm, None)
         asked = self.pending_requests.get(flow)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -97,7 +97,7 @@
             The buffered SYN packet to forward now, None if there is none or every
             server is full.
         """
-        self.placers.answered(answer.sender, answer.flow_key)
+        self.placers.record_answer(answer.sender, answer.flow_key)
         held = self.waiting.by_flow.get(answer.flow_key)
         if held is None:
             return None
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -64,7 +64,7 @@
     first = placers.coordinator_for(service, 0.0)
     placers.record_request(first, FLOW, 0.0)
     placers.is_pending(FLOW, 0.04)
-    placers.answered(first, FLOW)
+    placers.record_answer(first, FLOW)
     assert placers.coordinator_for(service, 0.05) == first
 
 
