--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -139,7 +139,7 @@
         if asked is not None and asked.vm == vm:
             del self.pending_requests[flow]
 
-    def sweep(self, now: float) -> None:
+    def remove_expired(self, now: float) -> None:
         """Remove placement requests that have timed out."""
         for flow in list(self.pending_requests):
             self.is_pending(flow, now)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -151,7 +151,7 @@
         self.load.remove_expired(now)
         self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
         self.held.remove_expired(now)
-        self.placers.sweep(now)
+        self.placers.remove_expired(now)
 
     def _route_syn(self, head: Head, now: float) -> Decision:
         route = self.routes.routes.get(head.route)
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -70,5 +70,5 @@
 
 def test_questions_that_nobody_minds_are_dropped(placers):
     placers.record_request("e2", FLOW, 0.0)
-    placers.sweep(0.5)
+    placers.remove_expired(0.5)
     assert placers.pending_requests == {}
