--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -129,7 +129,7 @@
         if now - asked.sent_at < self.settings.placement_timeout_s:
             return True
         del self.pending_requests[flow]
-        self._miss(asked, now)
+        self._start_backoff(asked, now)
         return False
 
     def record_answer(self, vm: VmId, flow: bytes) -> None:
@@ -144,7 +144,7 @@
         for flow in list(self.pending_requests):
             self.is_pending(flow, now)
 
-    def _miss(self, asked: PendingRequest, now: float) -> None:
+    def _start_backoff(self, asked: PendingRequest, now: float) -> None:
         silence = self.backoffs.setdefault(asked.vm, Backoff())
         if silence.expires_at > asked.sent_at:
             return
