--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -107,7 +107,7 @@
         A VM that recently left a request unanswered is skipped; this VM never is.
         """
         me = self.settings.vm
-        for vm in self._rank(service):
+        for vm in self._ranking(service):
             silence = self.backoffs.get(vm)
             if vm == me or silence is None or silence.expires_at <= now:
                 return vm
@@ -156,7 +156,7 @@
         silence.expires_at = now + silence.duration_s
         log_decision("placer-silent", placer=asked.vm, avoided_s=silence.duration_s)
 
-    def _rank(self, service: ServiceName) -> list[VmId]:
+    def _ranking(self, service: ServiceName) -> list[VmId]:
         ranked = self.rankings.get(service)
         if ranked is None:
             names = rendezvous.rank(service.encode(), self.entry_vms)
