--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -108,8 +108,8 @@
         """
         me = self.settings.vm
         for vm in self._ranking(service):
-            silence = self.backoffs.get(vm)
-            if vm == me or silence is None or silence.expires_at <= now:
+            backoff = self.backoffs.get(vm)
+            if vm == me or backoff is None or backoff.expires_at <= now:
                 return vm
         return me
 
