Rename asked to request

The parameter is a pending request.

Rename: libs/tokens/src/kumquatmux_tokens/placers.py asked request

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -144,9 +144,9 @@
         for flow in list(self.pending_requests):
             self.is_pending(flow, now)
 
-    def _start_backoff(self, asked: PendingRequest, now: float) -> None:
-        silence = self.backoffs.setdefault(asked.vm, Backoff())
-        if silence.expires_at > asked.sent_at:
+    def _start_backoff(self, request: PendingRequest, now: float) -> None:
+        silence = self.backoffs.setdefault(request.vm, Backoff())
+        if silence.expires_at > request.sent_at:
             return
         settings = self.settings
         silence.duration_s = min(
@@ -154,7 +154,7 @@
             settings.coordinator_backoff_max_s,
         )
         silence.expires_at = now + silence.duration_s
-        log_decision("placer-silent", placer=asked.vm, avoided_s=silence.duration_s)
+        log_decision("placer-silent", placer=request.vm, avoided_s=silence.duration_s)
 
     def _ranking(self, service: ServiceName) -> list[VmId]:
         ranked = self.rankings.get(service)
