--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -145,16 +145,16 @@
             self.is_pending(flow, now)
 
     def _start_backoff(self, request: PendingRequest, now: float) -> None:
-        silence = self.backoffs.setdefault(request.vm, Backoff())
-        if silence.expires_at > request.sent_at:
+        backoff = self.backoffs.setdefault(request.vm, Backoff())
+        if backoff.expires_at > request.sent_at:
             return
         settings = self.settings
-        silence.duration_s = min(
-            max(2 * silence.duration_s, settings.coordinator_backoff_s),
+        backoff.duration_s = min(
+            max(2 * backoff.duration_s, settings.coordinator_backoff_s),
             settings.coordinator_backoff_max_s,
         )
-        silence.expires_at = now + silence.duration_s
-        log_decision("placer-silent", placer=request.vm, avoided_s=silence.duration_s)
+        backoff.expires_at = now + backoff.duration_s
+        log_decision("placer-silent", placer=request.vm, avoided_s=backoff.duration_s)
 
     def _ranking(self, service: ServiceName) -> list[VmId]:
         ranked = self.rankings.get(service)
