--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -135,8 +135,8 @@
     def record_answer(self, vm: VmId, flow: bytes) -> None:
         """Record an answer to a placement request and end the VM's backoff."""
         self.backoffs.pop(vm, None)
-        asked = self.pending_requests.get(flow)
-        if asked is not None and asked.vm == vm:
+        request = self.pending_requests.get(flow)
+        if request is not None and request.vm == vm:
             del self.pending_requests[flow]
 
     def remove_expired(self, now: float) -> None:
