--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -123,13 +123,13 @@
         A request that has timed out is removed, and the VM that was asked is avoided
         for a while.
         """
-        asked = self.pending_requests.get(flow)
-        if asked is None:
+        request = self.pending_requests.get(flow)
+        if request is None:
             return False
-        if now - asked.sent_at < self.settings.placement_timeout_s:
+        if now - request.sent_at < self.settings.placement_timeout_s:
             return True
         del self.pending_requests[flow]
-        self._start_backoff(asked, now)
+        self._start_backoff(request, now)
         return False
 
     def record_answer(self, vm: VmId, flow: bytes) -> None:
