--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -157,8 +157,8 @@
         log_decision("placer-silent", placer=request.vm, avoided_s=backoff.duration_s)
 
     def _ranking(self, service: ServiceName) -> list[VmId]:
-        ranked = self.rankings.get(service)
-        if ranked is None:
+        ranking = self.rankings.get(service)
+        if ranking is None:
             names = rendezvous.rank(service.encode(), self.entry_vms)
-            ranked = self.rankings[service] = [VmId(name) for name in names]
-        return ranked
+            ranking = self.rankings[service] = [VmId(name) for name in names]
+        return ranking
