--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
-from kumquatmux_tokens.load import LoadTracker
+from kumquatmux_tokens.load_tracker import LoadTracker
 from kumquatmux_tokens.packets import (
     Ask,
     Decision,
