--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -178,7 +178,7 @@
             if self.placers.is_pending(head.flow, now):
                 return Wait("asked")
             return self._place_locally(head, service, now)
-        coordinator = self.placers.coordinator_for(service, now)
+        coordinator = self.placers.placer(service, now)
         if coordinator == self.settings.vm:
             return self._place_locally(head, service, now)
         if self._is_placement_paused(service, now):
@@ -262,7 +262,7 @@
             entry = self.directory.by_token.get(load.token)
             if entry is None:
                 continue
-            coordinator = self.placers.coordinator_for(entry.record.report.service, now)
+            coordinator = self.placers.placer(entry.record.report.service, now)
             if coordinator != self.settings.vm:
                 by_receiver.setdefault(coordinator, []).append(load)
         return by_receiver
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -19,7 +19,7 @@
 def others_service(placers):
     """Return a service whose placement coordinator is another VM."""
     names = (f"service-{number}" for number in range(99))
-    return next(name for name in names if placers.coordinator_for(name, 0.0) != "e1")
+    return next(name for name in names if placers.placer(name, 0.0) != "e1")
 
 
 def test_all_vms_of_a_zone_name_the_same_placer():
@@ -28,44 +28,41 @@
         for vm in PEERS:
             one = CoordinatorSelector(TokenSettings(vm, "a"))
             one.set_peers(PEERS)
-            named.add(one.coordinator_for(service, 0.0))
+            named.add(one.placer(service, 0.0))
         assert len(named) == 1
 
 
 def test_a_vm_without_peers_places_itself():
-    assert (
-        CoordinatorSelector(TokenSettings("e1", "a")).coordinator_for("entries", 0.0)
-        == "e1"
-    )
+    assert CoordinatorSelector(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
 
 
 def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(placers):
     service = others_service(placers)
-    first = placers.coordinator_for(service, 0.0)
+    first = placers.placer(service, 0.0)
     placers.record_request(first, FLOW, 0.0)
     assert placers.is_pending(FLOW, 0.02)
     assert not placers.is_pending(FLOW, 0.04)
-    assert placers.coordinator_for(service, 0.1) != first
-    assert placers.coordinator_for(service, 1.1) == first
+    assert placers.placer(service, 0.1) != first
+    assert placers.placer(service, 1.1) == first
 
 
 def test_a_placer_that_goes_on_without_answers_is_left_alone_longer(placers):
     service = others_service(placers)
-    first = placers.coordinator_for(service, 0.0)
+    first = placers.placer(service, 0.0)
     for start in (0.0, 1.1):
         placers.record_request(first, FLOW, start)
         placers.is_pending(FLOW, start + 0.04)
-    assert placers.coordinator_for(service, 3.0) != first
-    assert placers.coordinator_for(service, 3.2) == first
+    assert placers.placer(service, 3.0) != first
+    assert placers.placer(service, 3.2) == first
 
 
 def test_an_answer_ends_the_doubt(placers):
     service = others_service(placers)
-    first = placers.coordinator_for(service, 0.0)
+    first = placers.placer(service, 0.0)
     placers.record_request(first, FLOW, 0.0)
     placers.is_pending(FLOW, 0.04)
     placers.record_answer(first, FLOW)
-    assert placers.coordinator_for(service, 0.05) == first
+    assert placers.placer(service, 0.05) == first
 
 
 def test_questions_that_nobody_minds_are_dropped(placers):
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -318,7 +318,7 @@
     made = router(*servers)
     for peers in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
         made.placers.set_peers(peers)
-        placer = made.placers.coordinator_for("entries", 0.0)
+        placer = made.placers.placer("entries", 0.0)
         if placer != "e1":
             return made, placer
     raise AssertionError("this VM is the placement coordinator in every zone")
@@ -394,7 +394,7 @@
     made.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
     made.handle(data(server("i-1").token), SETTLED)
     told = [vm for vm, _ in made.tell(SETTLED)]
-    placer = made.placers.coordinator_for("entries", SETTLED)
+    placer = made.placers.placer("entries", SETTLED)
     assert told == [placer]
     made.placers.set_peers(("e1", "e2", "e3"))
     assert sorted(vm for vm, _ in made.tell(SETTLED + 1.0)) == ["e2", "e3"]
