--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -54,13 +54,13 @@
     """The part of a configuration document that routing needs.
 
     Attributes:
-        document_number: Document number, 0 for no document.
+        number: Document number, 0 for no document.
         routes: The document's routes.
         services: Names of the document's services.
         idle_s: Idle time in seconds after which a flow may be dropped.
     """
 
-    document_number: int
+    number: int
     routes: tuple[Route, ...]
     services: frozenset[ServiceName]
     idle_s: float
@@ -84,10 +84,10 @@
 
     def install(self, route_set: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        if route_set.document_number <= self.number:
+        if route_set.number <= self.number:
             return False
         previous_routes = self.routes
-        self.number = route_set.document_number
+        self.number = route_set.number
         self.routes = {route.address: route for route in route_set.routes}
         for address in previous_routes.keys() - self.routes.keys():
             self.removed_at[address] = now
