Rename head to header

Usual term for the header fields of a packet. Made on the syntax tokens of the named scope; behaviour is unchanged.

--- a/libs/tokens/src/kumquatmux_tokens/load_tracker.py
+++ b/libs/tokens/src/kumquatmux_tokens/load_tracker.py
@@ -133,12 +133,12 @@
             > self.settings.follow_up_share_threshold
         )
 
-    def record_syn(self, head: Head, token: int, now: float) -> Flow:
+    def record_syn(self, header: Head, token: int, now: float) -> Flow:
         """Record that a flow's SYN packet goes to a server; return the flow."""
-        flow = self.flows.get(head.flow)
+        flow = self.flows.get(header.flow)
         if flow is None or flow.is_established:
-            self._remove(head.flow)
-            flow = self.flows[head.flow] = Flow(token, now)
+            self._remove(header.flow)
+            flow = self.flows[header.flow] = Flow(token, now)
             self.local_load_at(token).open_flows += 1
         elif flow.token != token:
             self._end_request(flow)
@@ -150,7 +150,7 @@
         flow.syn_forwarded_at = now
         flow.last_packet_at = now
         self._start_request(flow, now)
-        self.forwarded_syns.append((now, head.flow))
+        self.forwarded_syns.append((now, header.flow))
         return flow
 
     def record_unanswered_syn(self, flow: Flow, now: float) -> bool:
@@ -168,37 +168,39 @@
         load.avoided_until = now + min(backoff_s, self.settings.server_avoidance_max_s)
         return True
 
-    def record_packet(self, head: Head, token: int, now: float) -> None:
+    def record_packet(self, header: Head, token: int, now: float) -> None:
         """Update the load from a packet that is not a SYN."""
-        flow = self.flows.get(head.flow)
+        flow = self.flows.get(header.flow)
         if flow is None:
-            flow = self.flows[head.flow] = Flow(token, now)
-            flow.next_sequence_number = head.sequence
+            flow = self.flows[header.flow] = Flow(token, now)
+            flow.next_sequence_number = header.sequence
             flow.has_sent_request = True
             self.local_load_at(token).open_flows += 1
         flow.last_packet_at = now
         if not flow.is_established:
-            self._establish(flow, token, head, now)
-        if head.is_closing:
-            self._remove(head.flow)
+            self._establish(flow, token, header, now)
+        if header.is_closing:
+            self._remove(header.flow)
             return
-        if head.length and _is_sequence_after(
-            head.sequence + head.length, flow.next_sequence_number
+        if header.length and _is_sequence_after(
+            header.sequence + header.length, flow.next_sequence_number
         ):
-            flow.next_sequence_number = (head.sequence + head.length) % SEQUENCE_SPACE
-            flow.baseline_ack_number = head.acknowledged
+            flow.next_sequence_number = (
+                header.sequence + header.length
+            ) % SEQUENCE_SPACE
+            flow.baseline_ack_number = header.acknowledged
             flow.last_data_at = now
             flow.retransmissions = 0
-            self._update_follow_up_share(flow, head)
+            self._update_follow_up_share(flow, header)
             self._start_request(flow, now)
-        elif _is_sequence_after(head.acknowledged, flow.baseline_ack_number):
-            flow.baseline_ack_number = head.acknowledged
+        elif _is_sequence_after(header.acknowledged, flow.baseline_ack_number):
+            flow.baseline_ack_number = header.acknowledged
             flow.retransmissions = 0
             self.local_load_at(flow.token).last_answer_at = now
             if flow.request_sent_at is not None:
                 self.latencies.record("first-answer", now - flow.request_sent_at)
             self._end_request(flow)
-        elif head.length:
+        elif header.length:
             flow.retransmissions += 1
 
     def is_server_unresponsive(self, flow_key: bytes, now: float) -> bool:
@@ -278,14 +280,14 @@
             if one.open_flows or one.avoided_until > now
         ]
 
-    def _establish(self, flow: Flow, token: int, head: Head, now: float) -> None:
+    def _establish(self, flow: Flow, token: int, header: Head, now: float) -> None:
         """Mark a flow as open at the server that the caller continues with.
 
         This is not always the server that the latest SYN packet was sent to.
         """
         flow.is_established = True
-        flow.baseline_ack_number = head.acknowledged
-        flow.next_sequence_number = head.sequence
+        flow.baseline_ack_number = header.acknowledged
+        flow.next_sequence_number = header.sequence
         if flow.token != token:
             has_request = flow.request_sent_at is not None
             self._end_request(flow)
@@ -305,13 +307,13 @@
         load.avoided_until = -math.inf
         load.last_answer_at = now
 
-    def _update_follow_up_share(self, flow: Flow, head: Head) -> None:
+    def _update_follow_up_share(self, flow: Flow, header: Head) -> None:
         """Update a route's share of requests that follow another on their flow."""
         if flow.request_sent_at is not None and flow.has_sent_request:
             return
-        share = self.follow_up_share.get(head.route, 0.0)
+        share = self.follow_up_share.get(header.route, 0.0)
         smoothing = self.settings.follow_up_share_smoothing
-        self.follow_up_share[head.route] = share + smoothing * (
+        self.follow_up_share[header.route] = share + smoothing * (
             float(flow.has_sent_request) - share
         )
         flow.has_sent_request = True
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -62,11 +62,11 @@
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
 
-    def handle(self, head: Head, now: float) -> Decision:
+    def handle(self, header: Head, now: float) -> Decision:
         """Return the decision for a packet."""
-        if head.is_opening:
-            return self._route_syn(head, now)
-        return self._route_by_token(head, now)
+        if header.is_opening:
+            return self._route_syn(header, now)
+        return self._route_by_token(header, now)
 
     def install(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
@@ -108,22 +108,22 @@
             return None
         return held
 
-    def place_as(self, head: Head, answer: PlaceAnswer, now: float) -> Decision:
+    def place_as(self, header: Head, answer: PlaceAnswer, now: float) -> Decision:
         """Return the decision for a SYN packet whose server another VM selected.
 
         If that server is unknown here or accepts no new flows, this VM selects one.
         """
-        route = self.routes.routes.get(head.route)
+        route = self.routes.routes.get(header.route)
         if route is None:
-            return self._decide_without_route(head)
-        service = route.select_service(head.flow)
+            return self._decide_without_route(header)
+        service = route.select_service(header.flow)
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
-            return self._place_locally(head, service, now)
+            return self._place_locally(header, service, now)
         self._reports_to(answer.sender).used_reservation = answer.reservation
         self.last_served_at[service] = now
-        self.load.record_syn(head, answer.token, now)
-        self._log_placement(head, entry, now, placer=answer.sender)
+        self.load.record_syn(header, answer.token, now)
+        self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
     def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
@@ -153,20 +153,20 @@
         self.held.remove_expired(now)
         self.placers.remove_expired(now)
 
-    def _route_syn(self, head: Head, now: float) -> Decision:
-        route = self.routes.routes.get(head.route)
+    def _route_syn(self, header: Head, now: float) -> Decision:
+        route = self.routes.routes.get(header.route)
         if route is None:
-            return self._decide_without_route(head)
-        service = route.select_service(head.flow)
-        flow = self.load.flows.get(head.flow)
+            return self._decide_without_route(header)
+        service = route.select_service(header.flow)
+        flow = self.load.flows.get(header.flow)
         is_retransmission = flow is not None and not flow.is_established
         is_too_soon = (
             flow is not None
             and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
         )
-        if flow is not None and is_retransmission and head.copy and not is_too_soon:
+        if flow is not None and is_retransmission and header.copy and not is_too_soon:
             if self.load.record_unanswered_syn(flow, now):
-                self._log_unanswered_syn(head, flow.token)
+                self._log_unanswered_syn(header, flow.token)
         elif flow is not None and is_retransmission:
             entry = self.directory.by_token.get(flow.token)
             if entry is not None and entry.ended_at is None:
@@ -174,41 +174,45 @@
         tried_tokens = (
             flow.tried_tokens if flow is not None and is_retransmission else ()
         )
-        if head.flow in self.placers.pending_requests:
-            if self.placers.is_pending(head.flow, now):
+        if header.flow in self.placers.pending_requests:
+            if self.placers.is_pending(header.flow, now):
                 return Wait("asked")
-            return self._place_locally(head, service, now)
+            return self._place_locally(header, service, now)
         coordinator = self.placers.placer(service, now)
         if coordinator == self.settings.vm:
-            return self._place_locally(head, service, now)
+            return self._place_locally(header, service, now)
         if self._is_placement_paused(service, now):
             return Wait("no-slot")
-        self.placers.record_request(coordinator, head.flow, now)
-        expects_many_requests = self.load.expects_many_requests(head.route)
+        self.placers.record_request(coordinator, header.flow, now)
+        expects_many_requests = self.load.expects_many_requests(header.route)
         me = self.settings.vm
         return Ask(
             coordinator,
-            PlaceQuestion(me, head.flow, service, tried_tokens, expects_many_requests),
+            PlaceQuestion(
+                me, header.flow, service, tried_tokens, expects_many_requests
+            ),
         )
 
-    def _place_locally(self, head: Head, service: ServiceName, now: float) -> Decision:
-        flow = self.load.flows.get(head.flow)
+    def _place_locally(
+        self, header: Head, service: ServiceName, now: float
+    ) -> Decision:
+        flow = self.load.flows.get(header.flow)
         tried_tokens = (
             flow.tried_tokens if flow is not None and not flow.is_established else ()
         )
         new_flow = NewFlow(
-            tried_tokens, self.load.expects_many_requests(head.route), now
+            tried_tokens, self.load.expects_many_requests(header.route), now
         )
         selection = self._select_server(service, new_flow)
         if selection is None:
-            return self._decide_without_server(head, service, now)
+            return self._decide_without_server(header, service, now)
         self.last_served_at[service] = now
         if selection.is_full:
             return Wait("no-slot")
         token = selection.entry.record.token
-        self.load.record_syn(head, token, now)
+        self.load.record_syn(header, token, now)
         self._log_placement(
-            head,
+            header,
             selection.entry,
             now,
             cost=round(selection.cost, 3),
@@ -267,35 +271,35 @@
                 by_receiver.setdefault(coordinator, []).append(load)
         return by_receiver
 
-    def _route_by_token(self, head: Head, now: float) -> Decision:
-        flow = self.load.flows.get(head.flow)
-        token = head.token
+    def _route_by_token(self, header: Head, now: float) -> Decision:
+        flow = self.load.flows.get(header.flow)
+        token = header.token
         if flow is not None and flow.is_established and token in flow.tried_tokens:
             token = flow.token
         entry = self.directory.by_token.get(token)
         if entry is None:
             return Hold(token) if token else Drop("no-token")
         if self.routes.was_removed_before(
-            head.route, now - self.settings.removed_route_grace_s
+            header.route, now - self.settings.removed_route_grace_s
         ):
-            return Reset(head.acknowledged, "route-removed")
+            return Reset(header.acknowledged, "route-removed")
         ended_at = entry.ended_at
         if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
-            return Reset(head.acknowledged, "server-ended")
-        self.load.record_packet(head, token, now)
-        if self._is_server_lost(head, entry.record, now):
-            self.load.remove_flow(head.flow)
-            return Reset(head.acknowledged, "server-silent")
+            return Reset(header.acknowledged, "server-ended")
+        self.load.record_packet(header, token, now)
+        if self._is_server_lost(header, entry.record, now):
+            self.load.remove_flow(header.flow)
+            return Reset(header.acknowledged, "server-silent")
         return Forward(entry.record, token)
 
-    def _is_server_lost(self, head: Head, record: ServerRecord, now: float) -> bool:
+    def _is_server_lost(self, header: Head, record: ServerRecord, now: float) -> bool:
         """Return whether a flow's server is gone, judged by two kinds of evidence.
 
         The caller retransmits while the server answers no caller of this VM. In
         addition, the server's reports are overdue, its zone is unreachable, or SYN
         packets to it went unanswered.
         """
-        if not head.length or not self.load.is_server_unresponsive(head.flow, now):
+        if not header.length or not self.load.is_server_unresponsive(header.flow, now):
             return False
         is_zone_unreachable = record.report.zone in self.load.silent_zones
         return (
@@ -304,13 +308,13 @@
             or self.load.has_unanswered_syns(record.token)
         )
 
-    def _decide_without_route(self, head: Head) -> Decision:
+    def _decide_without_route(self, header: Head) -> Decision:
         if not self.routes.number:
             return Wait("no-document")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
 
     def _decide_without_server(
-        self, head: Head, service: ServiceName, now: float
+        self, header: Head, service: ServiceName, now: float
     ) -> Decision:
         """Return the decision for a SYN packet of a service without servers.
 
@@ -324,13 +328,13 @@
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
 
     def _log_placement(
-        self, head: Head, entry: ServerEntry, now: float, **details: float | str
+        self, header: Head, entry: ServerEntry, now: float, **details: float | str
     ) -> None:
         report = entry.record.report
         log_decision(
             "flow-placed",
-            flow=head.flow.hex(),
-            copy=head.copy,
+            flow=header.flow.hex(),
+            copy=header.copy,
             document=self.routes.number,
             service=report.service,
             server=report.lifetime,
@@ -339,11 +343,11 @@
             **details,
         )
 
-    def _log_unanswered_syn(self, head: Head, token: int) -> None:
+    def _log_unanswered_syn(self, header: Head, token: int) -> None:
         load = self.load.local_load_at(token)
         log_decision(
             "server-unanswered",
-            flow=head.flow.hex(),
+            flow=header.flow.hex(),
             token=token,
             strikes=load.unanswered_syns,
         )
