--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -36,15 +36,15 @@
         self.by_token: dict[int, list[Held]] = {}
         self.count = 0
 
-    def put(self, head: Head, data: bytes, now: float) -> bool:
+    def put(self, header: Head, data: bytes, now: float) -> bool:
         """Buffer a packet if there is room; return whether to look up its token.
 
         The token is looked up only for the first packet that carries it.
         """
         if self.count >= self.settings.token_buffer_limit:
             return False
-        packets = self.by_token.setdefault(head.token, [])
-        packets.append(Held(head, data, now + self.settings.token_lookup_timeout_s))
+        packets = self.by_token.setdefault(header.token, [])
+        packets.append(Held(header, data, now + self.settings.token_lookup_timeout_s))
         self.count += 1
         return len(packets) == 1
 
@@ -77,24 +77,24 @@
         self.settings = settings
         self.by_flow: dict[bytes, Held] = {}
 
-    def put(self, head: Head, data: bytes, now: float) -> bool:
+    def put(self, header: Head, data: bytes, now: float) -> bool:
         """Buffer a SYN packet; return whether there was room.
 
         A retransmission replaces the SYN packet buffered for its flow and keeps its
         deadline.
         """
         settings = self.settings
-        buffered = self.by_flow.get(head.flow)
+        buffered = self.by_flow.get(header.flow)
         if buffered is None and len(self.by_flow) >= settings.syn_buffer_limit:
             return False
-        copy = min(head.copy, len(settings.syn_transmission_offsets_s) - 1)
+        copy = min(header.copy, len(settings.syn_transmission_offsets_s) - 1)
         first_sent_at = now - settings.syn_transmission_offsets_s[copy]
         expires_at = (
             buffered.expires_at
             if buffered
             else first_sent_at + settings.caller_syn_timeout_s
         )
-        self.by_flow[head.flow] = Held(head, data, expires_at)
+        self.by_flow[header.flow] = Held(header, data, expires_at)
         return True
 
     def due(self, now: float) -> list[Held]:
