--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -98,15 +98,15 @@
             server is full.
         """
         self.placers.record_answer(answer.sender, answer.flow_key)
-        held = self.waiting.by_flow.get(answer.flow_key)
-        if held is None:
+        packet = self.waiting.by_flow.get(answer.flow_key)
+        if packet is None:
             return None
-        route = self.routes.routes.get(held.head.route)
+        route = self.routes.routes.get(packet.head.route)
         service = route.select_service(answer.flow_key) if route else ServiceName("")
         if answer.is_full:
             self.last_full_at[service] = now
             return None
-        return held
+        return packet
 
     def place_as(self, header: Head, answer: PlaceAnswer, now: float) -> Decision:
         """Return the decision for a SYN packet whose server another VM selected.
