--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -106,12 +106,12 @@
 
         A VM that recently left a request unanswered is skipped; this VM never is.
         """
-        me = self.settings.vm
+        own_vm = self.settings.vm
         for vm in self._ranking(service):
             backoff = self.backoffs.get(vm)
-            if vm == me or backoff is None or backoff.expires_at <= now:
+            if vm == own_vm or backoff is None or backoff.expires_at <= now:
                 return vm
-        return me
+        return own_vm
 
     def record_request(self, vm: VmId, flow: bytes, now: float) -> None:
         """Record that a placement request was sent."""
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -81,14 +81,14 @@
         """Select a server for a flow whose SYN packet arrived at another VM."""
         opening = NewFlow(question.tried_tokens, question.expects_many_requests, now)
         choice = self._select_server(question.service, opening)
-        me = self.settings.vm
+        own_vm = self.settings.vm
         if choice is None:
-            return PlaceAnswer(me, question.flow_key, 0, False, 0)
+            return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
         token = choice.entry.record.token
         if choice.is_full:
-            return PlaceAnswer(me, question.flow_key, token, True, 0)
+            return PlaceAnswer(own_vm, question.flow_key, token, True, 0)
         granted = self.load.zone.reserve(question.sender, token, now)
-        return PlaceAnswer(me, question.flow_key, token, False, granted.number)
+        return PlaceAnswer(own_vm, question.flow_key, token, False, granted.number)
 
     def take_answer(self, answer: PlaceAnswer, now: float) -> Held | None:
         """Process the answer to a placement request.
@@ -185,11 +185,11 @@
             return Wait("no-slot")
         self.placers.record_request(coordinator, header.flow, now)
         expects_many_requests = self.load.expects_many_requests(header.route)
-        me = self.settings.vm
+        own_vm = self.settings.vm
         return Ask(
             coordinator,
             PlaceQuestion(
-                me, header.flow, service, tried_tokens, expects_many_requests
+                own_vm, header.flow, service, tried_tokens, expects_many_requests
             ),
         )
 
