--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -80,12 +80,12 @@
     def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
         opening = NewFlow(question.tried_tokens, question.expects_many_requests, now)
-        choice = self._select_server(question.service, opening)
+        selection = self._select_server(question.service, opening)
         own_vm = self.settings.vm
-        if choice is None:
+        if selection is None:
             return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
-        token = choice.entry.record.token
-        if choice.is_full:
+        token = selection.entry.record.token
+        if selection.is_full:
             return PlaceAnswer(own_vm, question.flow_key, token, True, 0)
         granted = self.load.zone.reserve(question.sender, token, now)
         return PlaceAnswer(own_vm, question.flow_key, token, False, granted.number)
