--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -79,8 +79,8 @@
 
     def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
-        opening = NewFlow(question.tried_tokens, question.expects_many_requests, now)
-        selection = self._select_server(question.service, opening)
+        new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
+        selection = self._select_server(question.service, new_flow)
         own_vm = self.settings.vm
         if selection is None:
             return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
