--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -87,8 +87,8 @@
         token = selection.entry.record.token
         if selection.is_full:
             return PlaceAnswer(own_vm, question.flow_key, token, True, 0)
-        granted = self.load.zone.reserve(question.sender, token, now)
-        return PlaceAnswer(own_vm, question.flow_key, token, False, granted.number)
+        reservation = self.load.zone.reserve(question.sender, token, now)
+        return PlaceAnswer(own_vm, question.flow_key, token, False, reservation.number)
 
     def take_answer(self, answer: PlaceAnswer, now: float) -> Held | None:
         """Process the answer to a placement request.
