Rename told to due_reports

Load reports that are due. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: router.py tell+due_load_reports told due_reports

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -129,7 +129,7 @@
     def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
         """Return the load reports that are due, each with its receiver."""
         groups = self._loads_by_receiver(now)
-        told = []
+        due_reports = []
         for vm in groups.keys() | self.outgoing_reports.keys():
             if vm not in self.placers.entry_vms:
                 self.outgoing_reports.pop(vm, None)
@@ -143,8 +143,8 @@
             )
             if share is not None:
                 self.report_count += 1
-                told.append((vm, share))
-        return told
+                due_reports.append((vm, share))
+        return due_reports
 
     def sweep(self, now: float) -> None:
         """Remove expired flows, servers, buffered packets and placement requests."""
