--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -134,16 +134,16 @@
             if vm not in self.placers.entry_vms:
                 self.outgoing_reports.pop(vm, None)
                 continue
-            share = self._reports_to(vm).next_report(
+            report = self._reports_to(vm).next_report(
                 self.settings.vm,
                 self.report_count + 1,
                 groups.get(vm, []),
                 now,
                 self.settings.complete_report_interval_s,
             )
-            if share is not None:
+            if report is not None:
                 self.report_count += 1
-                due_reports.append((vm, share))
+                due_reports.append((vm, report))
         return due_reports
 
     def sweep(self, now: float) -> None:
