--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -128,16 +128,16 @@
 
     def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
         """Return the load reports that are due, each with its receiver."""
-        groups = self._loads_by_receiver(now)
+        loads_by_receiver = self._loads_by_receiver(now)
         due_reports = []
-        for vm in groups.keys() | self.outgoing_reports.keys():
+        for vm in loads_by_receiver.keys() | self.outgoing_reports.keys():
             if vm not in self.placers.entry_vms:
                 self.outgoing_reports.pop(vm, None)
                 continue
             report = self._reports_to(vm).next_report(
                 self.settings.vm,
                 self.report_count + 1,
-                groups.get(vm, []),
+                loads_by_receiver.get(vm, []),
                 now,
                 self.settings.complete_report_interval_s,
             )
