--- a/libs/tokens/src/kumquatmux_tokens/load_tracker.py
+++ b/libs/tokens/src/kumquatmux_tokens/load_tracker.py
@@ -274,10 +274,10 @@
         self.expire_syn_requests(now)
         return [
             ServerLoad(
-                token, one.active_requests, one.open_flows, one.avoided_until > now
+                token, load.active_requests, load.open_flows, load.avoided_until > now
             )
-            for token, one in self.local_loads.items()
-            if one.open_flows or one.avoided_until > now
+            for token, load in self.local_loads.items()
+            if load.open_flows or load.avoided_until > now
         ]
 
     def _establish(self, flow: Flow, token: int, header: Head, now: float) -> None:
