--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -57,7 +57,7 @@
     def remove_expired(self, now: float) -> None:
         """Drop packets that have been buffered for too long."""
         for token, packets in list(self.by_token.items()):
-            kept = [one for one in packets if one.expires_at > now]
+            kept = [packet for packet in packets if packet.expires_at > now]
             self.count -= len(packets) - len(kept)
             if kept:
                 self.by_token[token] = kept
