Rename kept to remaining

Packets that remain. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: waiting.py remove_expired kept remaining

--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -57,10 +57,10 @@
     def remove_expired(self, now: float) -> None:
         """Drop packets that have been buffered for too long."""
         for token, packets in list(self.by_token.items()):
-            kept = [packet for packet in packets if packet.expires_at > now]
-            self.count -= len(packets) - len(kept)
-            if kept:
-                self.by_token[token] = kept
+            remaining = [packet for packet in packets if packet.expires_at > now]
+            self.count -= len(packets) - len(remaining)
+            if remaining:
+                self.by_token[token] = remaining
                 continue
             del self.by_token[token]
             log_decision("token-unknown", token=token, dropped=len(packets))
