--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -152,8 +152,8 @@
         for vm, peer in list(self.reporting_peers.items()):
             self._release_reservations(peer, 0, now)
             if peer.last_report_at < oldest_allowed and not peer.reservations:
-                for one in list(peer.server_loads.values()):
-                    self._replace_load(peer, ServerLoad(one.token, 0, 0, False))
+                for load in list(peer.server_loads.values()):
+                    self._replace_load(peer, ServerLoad(load.token, 0, 0, False))
                 del self.reporting_peers[vm]
 
     def _reporting_peer(self, vm: VmId, now: float) -> ReportingPeer:
