--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -47,7 +47,7 @@
     return Head(flow, route, token, False, False, 0, sequence, acknowledged, length)
 
 
-def router(*servers, now=0.0, number=1):
+def make_router(*servers, now=0.0, number=1):
     made = TokenRouter(TokenSettings("e1", "a"), Random(1), now)
     made.install(routes(number), now)
     for one in servers:
@@ -57,25 +57,25 @@
 
 def test_an_opening_packet_goes_to_a_server_of_the_routes_service():
     mine = server("i-1")
-    made = router(mine, server("i-2", service="pagesetter"))
+    made = make_router(mine, server("i-2", service="pagesetter"))
     assert made.handle(opening(), SETTLED) == Forward(mine, mine.token)
 
 
 def test_later_packets_follow_their_token_without_any_record():
     mine = server("i-1")
-    made = router(mine, server("i-2"))
+    made = make_router(mine, server("i-2"))
     assert made.handle(data(mine.token), SETTLED) == Forward(mine, mine.token)
 
 
 def test_an_unknown_token_is_asked_for_and_never_guessed():
-    made = router(server("i-1"))
+    made = make_router(server("i-1"))
     assert made.handle(data(77), SETTLED) == Hold(77)
     assert made.handle(data(0), SETTLED) == Drop("no-token")
 
 
 def test_held_packets_are_released_when_their_server_is_known():
     mine = server("i-3")
-    made = router(server("i-1"))
+    made = make_router(server("i-1"))
     head = data(mine.token)
     assert made.held.put(head, b"one", SETTLED) is True
     assert made.held.put(head, b"two", SETTLED) is False
@@ -85,7 +85,7 @@
 
 
 def test_held_packets_are_dropped_after_a_while():
-    made = router()
+    made = make_router()
     made.held.put(data(77), b"one", SETTLED)
     made.sweep(SETTLED + 1.4)
     assert made.held.count == 1
@@ -94,7 +94,7 @@
 
 
 def test_a_route_that_never_was_is_refused_at_once():
-    made = router(server("i-1"))
+    made = make_router(server("i-1"))
     assert made.handle(opening(route=OTHER), SETTLED) == Reset(0, "no-route")
 
 
@@ -104,7 +104,7 @@
 
 
 def test_openings_wait_for_a_first_server_and_are_refused_when_none_comes():
-    made = router(now=0.0)
+    made = make_router(now=0.0)
     assert made.handle(opening(), 4.0) == Wait("no-server-yet")
     assert made.handle(opening(), 6.0) == Reset(0, "no-server")
 
@@ -112,7 +112,7 @@
 def test_a_leaving_server_gets_no_new_flow_and_keeps_its_open_ones():
     leaving = server("i-1", phase=Phase.DRAINING, number=2)
     staying = server("i-2")
-    made = router(leaving, staying)
+    made = make_router(leaving, staying)
     for caller in range(6):
         decision = made.handle(opening(caller), SETTLED)
         assert decision.server == staying
@@ -120,7 +120,7 @@
 
 
 def test_flows_of_an_ended_server_are_reset_after_a_moment():
-    made = router(server("i-1"))
+    made = make_router(server("i-1"))
     over = server("i-1", number=2, phase=Phase.ENDED)
     made.learn(over, SETTLED)
     token = over.token
@@ -132,7 +132,7 @@
 
 def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
     before, after = server("i-1", born=1), server("i-1", born=2)
-    made = router(before)
+    made = make_router(before)
     made.learn(after, SETTLED)
     later = SETTLED + 1.1
     assert isinstance(made.handle(data(before.token), later), Reset)
@@ -141,7 +141,7 @@
 
 def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
     mine = server("i-1")
-    made = router(mine)
+    made = make_router(mine)
     made.install(routes(2, pagesetter=OTHER), SETTLED)
     assert made.handle(opening(), SETTLED) == Reset(0, "no-route")
     assert isinstance(made.handle(data(mine.token), SETTLED + 5.0), Forward)
@@ -149,27 +149,27 @@
 
 
 def test_a_document_with_a_lower_number_changes_nothing():
-    made = router(server("i-1"), number=5)
+    made = make_router(server("i-1"), number=5)
     assert made.install(routes(4, pagesetter=OTHER), SETTLED) is False
     assert isinstance(made.handle(opening(), SETTLED), Forward)
 
 
 def test_a_copy_of_an_opening_packet_goes_to_another_server():
     first, second = server("i-1"), server("i-2")
-    made = router(first, second)
+    made = make_router(first, second)
     one = made.handle(opening(), SETTLED).server
     two = made.handle(opening(copy=1), SETTLED + 0.2).server
     assert {one, two} == {first, second}
 
 
 def test_the_same_opening_packet_twice_goes_to_the_same_server():
-    made = router(server("i-1"), server("i-2"))
+    made = make_router(server("i-1"), server("i-2"))
     one = made.handle(opening(), SETTLED)
     assert made.handle(opening(), SETTLED + 0.01) == one
 
 
 def test_a_copy_that_comes_right_behind_says_nothing_about_the_server():
-    made = router(server("i-1"), server("i-2"))
+    made = make_router(server("i-1"), server("i-2"))
     one = made.handle(opening(), SETTLED)
     assert made.handle(opening(copy=1), SETTLED + 0.05) == one
     assert made.load.local_loads[one.token].unanswered_syns == 0
@@ -177,7 +177,7 @@
 
 def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
     dead, alive = server("i-1"), server("i-2")
-    made = router(dead, alive)
+    made = make_router(dead, alive)
     made.load.local_load_at(alive.token).active_requests = 1
     assert made.handle(opening(1), SETTLED).server == dead
     made.handle(opening(1, copy=1), SETTLED + 0.2)
@@ -186,7 +186,7 @@
 
 
 def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
-    made = router(server("i-1"), server("i-2"))
+    made = make_router(server("i-1"), server("i-2"))
     one = made.handle(opening(), SETTLED)
     two = made.handle(opening(copy=1), SETTLED + 0.2)
     assert made.handle(data(one.token), SETTLED + 0.3).server == one.server
@@ -195,7 +195,7 @@
 
 
 def test_servers_whose_tokens_clash_get_no_new_flow(monkeypatch):
-    made = router(server("i-1"))
+    made = make_router(server("i-1"))
     monkeypatch.setattr(Lifetime, "token", property(lambda self: 5))
     made.learn(server("i-2"), 0.0)
     made.learn(server("i-3"), 0.0)
@@ -217,34 +217,34 @@
 
 def test_a_lost_flow_is_reset_when_its_server_is_late_too():
     mine = server("i-1")._replace(doubts=1)
-    made = router(mine, server("i-2"))
+    made = make_router(mine, server("i-2"))
     assert repeated(made, mine.token, times=2) == Forward(mine, mine.token)
     assert made.handle(data(mine.token), SETTLED + 0.6) == Reset(500, "server-silent")
 
 
 def test_a_lost_flow_is_reset_when_its_zone_is_silent():
     mine = server("i-1", zone="b")
-    made = router(mine)
+    made = make_router(mine)
     made.load.silent_zones = frozenset({"b"})
     assert isinstance(repeated(made, mine.token), Reset)
 
 
 def test_a_lost_flow_is_reset_when_opening_packets_go_unanswered():
     mine = server("i-1")
-    made = router(mine)
+    made = make_router(mine)
     made.load.local_load_at(mine.token).unanswered_syns = 1
     assert isinstance(repeated(made, mine.token), Reset)
 
 
 def test_a_caller_that_repeats_itself_alone_is_never_reset():
     mine = server("i-1")
-    made = router(mine)
+    made = make_router(mine)
     assert isinstance(repeated(made, mine.token, times=9), Forward)
 
 
 def test_a_server_that_answers_another_caller_has_not_lost_the_flow():
     mine = server("i-1")._replace(doubts=1)
-    made = router(mine)
+    made = make_router(mine)
     made.handle(data(mine.token), SETTLED)
     made.handle(data(mine.token, caller=2), SETTLED + 0.1)
     made.handle(data(mine.token, caller=2, acknowledged=900, length=0), SETTLED + 0.2)
@@ -254,13 +254,13 @@
 
 def test_packets_that_queued_while_this_vm_stood_still_reset_nothing():
     mine = server("i-1")._replace(doubts=1)
-    made = router(mine)
+    made = make_router(mine)
     assert isinstance(repeated(made, mine.token, times=9, gap_s=0.0), Forward)
 
 
 def test_an_answered_request_starts_the_count_anew():
     mine = server("i-1")._replace(doubts=1)
-    made = router(mine)
+    made = make_router(mine)
     repeated(made, mine.token, times=2)
     made.handle(data(mine.token, acknowledged=900, length=0), SETTLED + 0.4)
     assert isinstance(made.handle(data(mine.token), SETTLED + 0.7), Forward)
@@ -268,7 +268,7 @@
 
 def test_new_flows_wait_when_every_server_has_much_work_waiting():
     mine = server("i-1")
-    made = router(mine)
+    made = make_router(mine)
     made.load.local_load_at(mine.token).active_requests = 8
     assert made.handle(opening(), SETTLED) == Wait("no-slot")
     made.load.local_load_at(mine.token).active_requests = 7
@@ -291,7 +291,7 @@
 
 @given(st.lists(HEADS, max_size=30))
 def test_whatever_comes_work_is_never_counted_below_zero(heads):
-    made = router(server("i-1"), server("i-2"))
+    made = make_router(server("i-1"), server("i-2"))
     now = SETTLED
     for head in heads:
         now += 0.1
@@ -315,7 +315,7 @@
 
 def asking_router(*servers):
     """Return a router and the other VM that places the flows of ``entries``."""
-    made = router(*servers)
+    made = make_router(*servers)
     for peers in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
         made.placers.set_peers(peers)
         placer = made.placers.placer("entries", 0.0)
@@ -374,7 +374,7 @@
 
 def test_a_flow_is_chosen_for_another_vm_by_all_work_in_the_zone():
     first, second = server("i-1"), server("i-2")
-    made = router(first, second)
+    made = make_router(first, second)
     chosen = set()
     for caller in range(2):
         flow = flow_of(caller, ROUTE)
@@ -385,12 +385,12 @@
 
 def test_no_server_is_named_where_there_is_none():
     question = PlaceQuestion("e2", flow_of(1, ROUTE), "entries", (), False)
-    answer = router().place_for(question, SETTLED)
+    answer = make_router().place_for(question, SETTLED)
     assert (answer.token, answer.reservation) == (0, 0)
 
 
 def test_a_large_zone_tells_only_those_that_place():
-    made = router(server("i-1"))
+    made = make_router(server("i-1"))
     made.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
     made.handle(data(server("i-1").token), SETTLED)
     told = [vm for vm, _ in made.tell(SETTLED)]
