--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -48,231 +48,231 @@
 
 
 def make_router(*servers, now=0.0, number=1):
-    made = TokenRouter(TokenSettings("e1", "a"), Random(1), now)
-    made.install(routes(number), now)
+    router = TokenRouter(TokenSettings("e1", "a"), Random(1), now)
+    router.install(routes(number), now)
     for one in servers:
-        made.learn(one, now)
-    return made
+        router.learn(one, now)
+    return router
 
 
 def test_an_opening_packet_goes_to_a_server_of_the_routes_service():
     mine = server("i-1")
-    made = make_router(mine, server("i-2", service="pagesetter"))
-    assert made.handle(opening(), SETTLED) == Forward(mine, mine.token)
+    router = make_router(mine, server("i-2", service="pagesetter"))
+    assert router.handle(opening(), SETTLED) == Forward(mine, mine.token)
 
 
 def test_later_packets_follow_their_token_without_any_record():
     mine = server("i-1")
-    made = make_router(mine, server("i-2"))
-    assert made.handle(data(mine.token), SETTLED) == Forward(mine, mine.token)
+    router = make_router(mine, server("i-2"))
+    assert router.handle(data(mine.token), SETTLED) == Forward(mine, mine.token)
 
 
 def test_an_unknown_token_is_asked_for_and_never_guessed():
-    made = make_router(server("i-1"))
-    assert made.handle(data(77), SETTLED) == Hold(77)
-    assert made.handle(data(0), SETTLED) == Drop("no-token")
+    router = make_router(server("i-1"))
+    assert router.handle(data(77), SETTLED) == Hold(77)
+    assert router.handle(data(0), SETTLED) == Drop("no-token")
 
 
 def test_held_packets_are_released_when_their_server_is_known():
     mine = server("i-3")
-    made = make_router(server("i-1"))
+    router = make_router(server("i-1"))
     head = data(mine.token)
-    assert made.held.put(head, b"one", SETTLED) is True
-    assert made.held.put(head, b"two", SETTLED) is False
-    released = made.learn(mine, SETTLED + 0.1)
+    assert router.held.put(head, b"one", SETTLED) is True
+    assert router.held.put(head, b"two", SETTLED) is False
+    released = router.learn(mine, SETTLED + 0.1)
     assert [held.data for held in released] == [b"one", b"two"]
-    assert made.held.count == 0
+    assert router.held.count == 0
 
 
 def test_held_packets_are_dropped_after_a_while():
-    made = make_router()
-    made.held.put(data(77), b"one", SETTLED)
-    made.sweep(SETTLED + 1.4)
-    assert made.held.count == 1
-    made.sweep(SETTLED + 1.6)
-    assert made.held.count == 0
+    router = make_router()
+    router.held.put(data(77), b"one", SETTLED)
+    router.sweep(SETTLED + 1.4)
+    assert router.held.count == 1
+    router.sweep(SETTLED + 1.6)
+    assert router.held.count == 0
 
 
 def test_a_route_that_never_was_is_refused_at_once():
-    made = make_router(server("i-1"))
-    assert made.handle(opening(route=OTHER), SETTLED) == Reset(0, "no-route")
+    router = make_router(server("i-1"))
+    assert router.handle(opening(route=OTHER), SETTLED) == Reset(0, "no-route")
 
 
 def test_openings_wait_until_a_document_is_there():
-    made = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
-    assert made.handle(opening(), SETTLED) == Wait("no-document")
+    router = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
+    assert router.handle(opening(), SETTLED) == Wait("no-document")
 
 
 def test_openings_wait_for_a_first_server_and_are_refused_when_none_comes():
-    made = make_router(now=0.0)
-    assert made.handle(opening(), 4.0) == Wait("no-server-yet")
-    assert made.handle(opening(), 6.0) == Reset(0, "no-server")
+    router = make_router(now=0.0)
+    assert router.handle(opening(), 4.0) == Wait("no-server-yet")
+    assert router.handle(opening(), 6.0) == Reset(0, "no-server")
 
 
 def test_a_leaving_server_gets_no_new_flow_and_keeps_its_open_ones():
     leaving = server("i-1", phase=Phase.DRAINING, number=2)
     staying = server("i-2")
-    made = make_router(leaving, staying)
+    router = make_router(leaving, staying)
     for caller in range(6):
-        decision = made.handle(opening(caller), SETTLED)
+        decision = router.handle(opening(caller), SETTLED)
         assert decision.server == staying
-    assert made.handle(data(leaving.token), SETTLED).server == leaving
+    assert router.handle(data(leaving.token), SETTLED).server == leaving
 
 
 def test_flows_of_an_ended_server_are_reset_after_a_moment():
-    made = make_router(server("i-1"))
+    router = make_router(server("i-1"))
     over = server("i-1", number=2, phase=Phase.ENDED)
-    made.learn(over, SETTLED)
+    router.learn(over, SETTLED)
     token = over.token
-    assert isinstance(made.handle(data(token), SETTLED + 0.5), Forward)
-    assert made.handle(data(token, acknowledged=640), SETTLED + 1.1) == Reset(
+    assert isinstance(router.handle(data(token), SETTLED + 0.5), Forward)
+    assert router.handle(data(token, acknowledged=640), SETTLED + 1.1) == Reset(
         640, "server-ended"
     )
 
 
 def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
     before, after = server("i-1", born=1), server("i-1", born=2)
-    made = make_router(before)
-    made.learn(after, SETTLED)
+    router = make_router(before)
+    router.learn(after, SETTLED)
     later = SETTLED + 1.1
-    assert isinstance(made.handle(data(before.token), later), Reset)
-    assert made.handle(data(after.token), later).server == after
+    assert isinstance(router.handle(data(before.token), later), Reset)
+    assert router.handle(data(after.token), later).server == after
 
 
 def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
     mine = server("i-1")
-    made = make_router(mine)
-    made.install(routes(2, pagesetter=OTHER), SETTLED)
-    assert made.handle(opening(), SETTLED) == Reset(0, "no-route")
-    assert isinstance(made.handle(data(mine.token), SETTLED + 5.0), Forward)
-    assert made.handle(data(mine.token), SETTLED + 6.1) == Reset(500, "route-removed")
+    router = make_router(mine)
+    router.install(routes(2, pagesetter=OTHER), SETTLED)
+    assert router.handle(opening(), SETTLED) == Reset(0, "no-route")
+    assert isinstance(router.handle(data(mine.token), SETTLED + 5.0), Forward)
+    assert router.handle(data(mine.token), SETTLED + 6.1) == Reset(500, "route-removed")
 
 
 def test_a_document_with_a_lower_number_changes_nothing():
-    made = make_router(server("i-1"), number=5)
-    assert made.install(routes(4, pagesetter=OTHER), SETTLED) is False
-    assert isinstance(made.handle(opening(), SETTLED), Forward)
+    router = make_router(server("i-1"), number=5)
+    assert router.install(routes(4, pagesetter=OTHER), SETTLED) is False
+    assert isinstance(router.handle(opening(), SETTLED), Forward)
 
 
 def test_a_copy_of_an_opening_packet_goes_to_another_server():
     first, second = server("i-1"), server("i-2")
-    made = make_router(first, second)
-    one = made.handle(opening(), SETTLED).server
-    two = made.handle(opening(copy=1), SETTLED + 0.2).server
+    router = make_router(first, second)
+    one = router.handle(opening(), SETTLED).server
+    two = router.handle(opening(copy=1), SETTLED + 0.2).server
     assert {one, two} == {first, second}
 
 
 def test_the_same_opening_packet_twice_goes_to_the_same_server():
-    made = make_router(server("i-1"), server("i-2"))
-    one = made.handle(opening(), SETTLED)
-    assert made.handle(opening(), SETTLED + 0.01) == one
+    router = make_router(server("i-1"), server("i-2"))
+    one = router.handle(opening(), SETTLED)
+    assert router.handle(opening(), SETTLED + 0.01) == one
 
 
 def test_a_copy_that_comes_right_behind_says_nothing_about_the_server():
-    made = make_router(server("i-1"), server("i-2"))
-    one = made.handle(opening(), SETTLED)
-    assert made.handle(opening(copy=1), SETTLED + 0.05) == one
-    assert made.load.local_loads[one.token].unanswered_syns == 0
+    router = make_router(server("i-1"), server("i-2"))
+    one = router.handle(opening(), SETTLED)
+    assert router.handle(opening(copy=1), SETTLED + 0.05) == one
+    assert router.load.local_loads[one.token].unanswered_syns == 0
 
 
 def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
     dead, alive = server("i-1"), server("i-2")
-    made = make_router(dead, alive)
-    made.load.local_load_at(alive.token).active_requests = 1
-    assert made.handle(opening(1), SETTLED).server == dead
-    made.handle(opening(1, copy=1), SETTLED + 0.2)
-    assert made.handle(opening(2), SETTLED + 0.3).server == alive
-    assert made.handle(opening(3), SETTLED + 0.9).server == dead
+    router = make_router(dead, alive)
+    router.load.local_load_at(alive.token).active_requests = 1
+    assert router.handle(opening(1), SETTLED).server == dead
+    router.handle(opening(1, copy=1), SETTLED + 0.2)
+    assert router.handle(opening(2), SETTLED + 0.3).server == alive
+    assert router.handle(opening(3), SETTLED + 0.9).server == dead
 
 
 def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
-    made = make_router(server("i-1"), server("i-2"))
-    one = made.handle(opening(), SETTLED)
-    two = made.handle(opening(copy=1), SETTLED + 0.2)
-    assert made.handle(data(one.token), SETTLED + 0.3).server == one.server
-    late = made.handle(data(two.token, sequence=110), SETTLED + 0.4)
+    router = make_router(server("i-1"), server("i-2"))
+    one = router.handle(opening(), SETTLED)
+    two = router.handle(opening(copy=1), SETTLED + 0.2)
+    assert router.handle(data(one.token), SETTLED + 0.3).server == one.server
+    late = router.handle(data(two.token, sequence=110), SETTLED + 0.4)
     assert late == Forward(one.server, one.token)
 
 
 def test_servers_whose_tokens_clash_get_no_new_flow(monkeypatch):
-    made = make_router(server("i-1"))
+    router = make_router(server("i-1"))
     monkeypatch.setattr(Lifetime, "token", property(lambda self: 5))
-    made.learn(server("i-2"), 0.0)
-    made.learn(server("i-3"), 0.0)
-    made.directory.by_service["entries"] = {
+    router.learn(server("i-2"), 0.0)
+    router.learn(server("i-3"), 0.0)
+    router.directory.by_service["entries"] = {
         token: one
-        for token, one in made.directory.by_service["entries"].items()
+        for token, one in router.directory.by_service["entries"].items()
         if token == 5
     }
-    assert made.directory.colliding_tokens == {5}
-    assert made.handle(opening(), 3.0) == Wait("no-server-yet")
+    assert router.directory.colliding_tokens == {5}
+    assert router.handle(opening(), 3.0) == Wait("no-server-yet")
 
 
-def repeated(made, token, times=3, gap_s=0.3):
+def repeated(router, token, times=3, gap_s=0.3):
     """Send the same data several times; return the last decision."""
     for count in range(times):
-        decision = made.handle(data(token), SETTLED + count * gap_s)
+        decision = router.handle(data(token), SETTLED + count * gap_s)
     return decision
 
 
 def test_a_lost_flow_is_reset_when_its_server_is_late_too():
     mine = server("i-1")._replace(doubts=1)
-    made = make_router(mine, server("i-2"))
-    assert repeated(made, mine.token, times=2) == Forward(mine, mine.token)
-    assert made.handle(data(mine.token), SETTLED + 0.6) == Reset(500, "server-silent")
+    router = make_router(mine, server("i-2"))
+    assert repeated(router, mine.token, times=2) == Forward(mine, mine.token)
+    assert router.handle(data(mine.token), SETTLED + 0.6) == Reset(500, "server-silent")
 
 
 def test_a_lost_flow_is_reset_when_its_zone_is_silent():
     mine = server("i-1", zone="b")
-    made = make_router(mine)
-    made.load.silent_zones = frozenset({"b"})
-    assert isinstance(repeated(made, mine.token), Reset)
+    router = make_router(mine)
+    router.load.silent_zones = frozenset({"b"})
+    assert isinstance(repeated(router, mine.token), Reset)
 
 
 def test_a_lost_flow_is_reset_when_opening_packets_go_unanswered():
     mine = server("i-1")
-    made = make_router(mine)
-    made.load.local_load_at(mine.token).unanswered_syns = 1
-    assert isinstance(repeated(made, mine.token), Reset)
+    router = make_router(mine)
+    router.load.local_load_at(mine.token).unanswered_syns = 1
+    assert isinstance(repeated(router, mine.token), Reset)
 
 
 def test_a_caller_that_repeats_itself_alone_is_never_reset():
     mine = server("i-1")
-    made = make_router(mine)
-    assert isinstance(repeated(made, mine.token, times=9), Forward)
+    router = make_router(mine)
+    assert isinstance(repeated(router, mine.token, times=9), Forward)
 
 
 def test_a_server_that_answers_another_caller_has_not_lost_the_flow():
     mine = server("i-1")._replace(doubts=1)
-    made = make_router(mine)
-    made.handle(data(mine.token), SETTLED)
-    made.handle(data(mine.token, caller=2), SETTLED + 0.1)
-    made.handle(data(mine.token, caller=2, acknowledged=900, length=0), SETTLED + 0.2)
-    made.handle(data(mine.token), SETTLED + 0.3)
-    assert isinstance(made.handle(data(mine.token), SETTLED + 0.6), Forward)
+    router = make_router(mine)
+    router.handle(data(mine.token), SETTLED)
+    router.handle(data(mine.token, caller=2), SETTLED + 0.1)
+    router.handle(data(mine.token, caller=2, acknowledged=900, length=0), SETTLED + 0.2)
+    router.handle(data(mine.token), SETTLED + 0.3)
+    assert isinstance(router.handle(data(mine.token), SETTLED + 0.6), Forward)
 
 
 def test_packets_that_queued_while_this_vm_stood_still_reset_nothing():
     mine = server("i-1")._replace(doubts=1)
-    made = make_router(mine)
-    assert isinstance(repeated(made, mine.token, times=9, gap_s=0.0), Forward)
+    router = make_router(mine)
+    assert isinstance(repeated(router, mine.token, times=9, gap_s=0.0), Forward)
 
 
 def test_an_answered_request_starts_the_count_anew():
     mine = server("i-1")._replace(doubts=1)
-    made = make_router(mine)
-    repeated(made, mine.token, times=2)
-    made.handle(data(mine.token, acknowledged=900, length=0), SETTLED + 0.4)
-    assert isinstance(made.handle(data(mine.token), SETTLED + 0.7), Forward)
+    router = make_router(mine)
+    repeated(router, mine.token, times=2)
+    router.handle(data(mine.token, acknowledged=900, length=0), SETTLED + 0.4)
+    assert isinstance(router.handle(data(mine.token), SETTLED + 0.7), Forward)
 
 
 def test_new_flows_wait_when_every_server_has_much_work_waiting():
     mine = server("i-1")
-    made = make_router(mine)
-    made.load.local_load_at(mine.token).active_requests = 8
-    assert made.handle(opening(), SETTLED) == Wait("no-slot")
-    made.load.local_load_at(mine.token).active_requests = 7
-    assert isinstance(made.handle(opening(), SETTLED), Forward)
+    router = make_router(mine)
+    router.load.local_load_at(mine.token).active_requests = 8
+    assert router.handle(opening(), SETTLED) == Wait("no-slot")
+    router.load.local_load_at(mine.token).active_requests = 7
+    assert isinstance(router.handle(opening(), SETTLED), Forward)
 
 
 HEADS = st.builds(
@@ -291,14 +291,14 @@
 
 @given(st.lists(HEADS, max_size=30))
 def test_whatever_comes_work_is_never_counted_below_zero(heads):
-    made = make_router(server("i-1"), server("i-2"))
+    router = make_router(server("i-1"), server("i-2"))
     now = SETTLED
     for head in heads:
         now += 0.1
-        decision = made.handle(head, now)
+        decision = router.handle(head, now)
         if isinstance(decision, Forward):
             assert decision.server.report.service == "entries"
-    for work in made.load.local_loads.values():
+    for work in router.load.local_loads.values():
         assert work.active_requests >= 0
         assert work.open_flows >= 0
 
@@ -315,71 +315,71 @@
 
 def asking_router(*servers):
     """Return a router and the other VM that places the flows of ``entries``."""
-    made = make_router(*servers)
+    router = make_router(*servers)
     for peers in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
-        made.placers.set_peers(peers)
-        placer = made.placers.placer("entries", 0.0)
+        router.placers.set_peers(peers)
+        placer = router.placers.placer("entries", 0.0)
         if placer != "e1":
-            return made, placer
+            return router, placer
     raise AssertionError("this VM is the placement coordinator in every zone")
 
 
 def test_another_vm_is_asked_for_the_server_of_a_flow():
-    made, placer = asking_router(server("i-1"))
+    router, placer = asking_router(server("i-1"))
     head = opening()
     question = PlaceQuestion("e1", head.flow, "entries", (), False)
-    assert made.handle(head, SETTLED) == Ask(placer, question)
+    assert router.handle(head, SETTLED) == Ask(placer, question)
 
 
 def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
     first, second = server("i-1"), server("i-2")
-    made, placer = asking_router(first, second)
+    router, placer = asking_router(first, second)
     head = opening()
-    made.handle(head, SETTLED)
-    made.waiting.put(head, b"one", SETTLED)
+    router.handle(head, SETTLED)
+    router.waiting.put(head, b"one", SETTLED)
     for token in (first.token, second.token):
         answer = PlaceAnswer(placer, head.flow, token, False, 9)
-        held = made.take_answer(answer, SETTLED)
-        assert made.place_as(held.head, answer, SETTLED).token == token
-    assert made.outgoing_reports[placer].used_reservation == 9
+        held = router.take_answer(answer, SETTLED)
+        assert router.place_as(held.head, answer, SETTLED).token == token
+    assert router.outgoing_reports[placer].used_reservation == 9
 
 
 def test_a_chosen_server_that_is_not_known_or_leaves_is_not_taken():
     leaving = server("i-2", number=2, phase=Phase.DRAINING)
     other = server("i-3", service="pagesetter")
-    made, placer = asking_router(server("i-1"), leaving, other)
+    router, placer = asking_router(server("i-1"), leaving, other)
     for token in (leaving.token, other.token, 77, 0):
         answer = PlaceAnswer(placer, opening().flow, token, False, 1)
-        decision = made.place_as(opening(), answer, SETTLED)
+        decision = router.place_as(opening(), answer, SETTLED)
         assert decision.server == server("i-1")
 
 
 def test_an_opening_waits_while_every_server_is_full():
-    made, placer = asking_router(server("i-1"))
+    router, placer = asking_router(server("i-1"))
     head = opening()
-    made.handle(head, SETTLED)
-    made.waiting.put(head, b"one", SETTLED)
+    router.handle(head, SETTLED)
+    router.waiting.put(head, b"one", SETTLED)
     full = PlaceAnswer(placer, head.flow, server("i-1").token, True, 0)
-    assert made.take_answer(full, SETTLED) is None
-    assert isinstance(made.handle(head, SETTLED + 0.05), Ask)
+    assert router.take_answer(full, SETTLED) is None
+    assert isinstance(router.handle(head, SETTLED + 0.05), Ask)
 
 
 def test_a_flow_is_placed_here_when_no_answer_comes():
-    made, placer = asking_router(server("i-1"))
-    made.handle(opening(), SETTLED)
-    assert made.handle(opening(), SETTLED + 0.02) == Wait("asked")
-    assert isinstance(made.handle(opening(), SETTLED + 0.05), Forward)
-    assert isinstance(made.handle(opening(2), SETTLED + 0.06), Forward)
+    router, placer = asking_router(server("i-1"))
+    router.handle(opening(), SETTLED)
+    assert router.handle(opening(), SETTLED + 0.02) == Wait("asked")
+    assert isinstance(router.handle(opening(), SETTLED + 0.05), Forward)
+    assert isinstance(router.handle(opening(2), SETTLED + 0.06), Forward)
 
 
 def test_a_flow_is_chosen_for_another_vm_by_all_work_in_the_zone():
     first, second = server("i-1"), server("i-2")
-    made = make_router(first, second)
+    router = make_router(first, second)
     chosen = set()
     for caller in range(2):
         flow = flow_of(caller, ROUTE)
         question = PlaceQuestion("e2", flow, "entries", (), False)
-        chosen.add(made.place_for(question, SETTLED).token)
+        chosen.add(router.place_for(question, SETTLED).token)
     assert chosen == {first.token, second.token}
 
 
@@ -390,11 +390,11 @@
 
 
 def test_a_large_zone_tells_only_those_that_place():
-    made = make_router(server("i-1"))
-    made.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
-    made.handle(data(server("i-1").token), SETTLED)
-    told = [vm for vm, _ in made.tell(SETTLED)]
-    placer = made.placers.placer("entries", SETTLED)
+    router = make_router(server("i-1"))
+    router.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
+    router.handle(data(server("i-1").token), SETTLED)
+    told = [vm for vm, _ in router.tell(SETTLED)]
+    placer = router.placers.placer("entries", SETTLED)
     assert told == [placer]
-    made.placers.set_peers(("e1", "e2", "e3"))
-    assert sorted(vm for vm, _ in made.tell(SETTLED + 1.0)) == ["e2", "e3"]
+    router.placers.set_peers(("e1", "e2", "e3"))
+    assert sorted(vm for vm, _ in router.tell(SETTLED + 1.0)) == ["e2", "e3"]
