--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -19,7 +19,9 @@
 SETTLED = 10.0
 
 
-def server(name="i-1", born=1, number=1, service="entries", zone="a", **other):
+def make_server_record(
+    name="i-1", born=1, number=1, service="entries", zone="a", **other
+):
     place = Endpoint("10.0.0.9", int(name[2:]))
     lifetime = Lifetime(name, born)
     report = Report(lifetime, number, service, place, zone, "v1", 2, Phase.READY, 0.0)
@@ -56,26 +58,26 @@
 
 
 def test_an_opening_packet_goes_to_a_server_of_the_routes_service():
-    mine = server("i-1")
-    router = make_router(mine, server("i-2", service="pagesetter"))
+    mine = make_server_record("i-1")
+    router = make_router(mine, make_server_record("i-2", service="pagesetter"))
     assert router.handle(opening(), SETTLED) == Forward(mine, mine.token)
 
 
 def test_later_packets_follow_their_token_without_any_record():
-    mine = server("i-1")
-    router = make_router(mine, server("i-2"))
+    mine = make_server_record("i-1")
+    router = make_router(mine, make_server_record("i-2"))
     assert router.handle(data(mine.token), SETTLED) == Forward(mine, mine.token)
 
 
 def test_an_unknown_token_is_asked_for_and_never_guessed():
-    router = make_router(server("i-1"))
+    router = make_router(make_server_record("i-1"))
     assert router.handle(data(77), SETTLED) == Hold(77)
     assert router.handle(data(0), SETTLED) == Drop("no-token")
 
 
 def test_held_packets_are_released_when_their_server_is_known():
-    mine = server("i-3")
-    router = make_router(server("i-1"))
+    mine = make_server_record("i-3")
+    router = make_router(make_server_record("i-1"))
     head = data(mine.token)
     assert router.held.put(head, b"one", SETTLED) is True
     assert router.held.put(head, b"two", SETTLED) is False
@@ -94,7 +96,7 @@
 
 
 def test_a_route_that_never_was_is_refused_at_once():
-    router = make_router(server("i-1"))
+    router = make_router(make_server_record("i-1"))
     assert router.handle(opening(route=OTHER), SETTLED) == Reset(0, "no-route")
 
 
@@ -110,8 +112,8 @@
 
 
 def test_a_leaving_server_gets_no_new_flow_and_keeps_its_open_ones():
-    leaving = server("i-1", phase=Phase.DRAINING, number=2)
-    staying = server("i-2")
+    leaving = make_server_record("i-1", phase=Phase.DRAINING, number=2)
+    staying = make_server_record("i-2")
     router = make_router(leaving, staying)
     for caller in range(6):
         decision = router.handle(opening(caller), SETTLED)
@@ -120,8 +122,8 @@
 
 
 def test_flows_of_an_ended_server_are_reset_after_a_moment():
-    router = make_router(server("i-1"))
-    over = server("i-1", number=2, phase=Phase.ENDED)
+    router = make_router(make_server_record("i-1"))
+    over = make_server_record("i-1", number=2, phase=Phase.ENDED)
     router.learn(over, SETTLED)
     token = over.token
     assert isinstance(router.handle(data(token), SETTLED + 0.5), Forward)
@@ -131,7 +133,7 @@
 
 
 def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
-    before, after = server("i-1", born=1), server("i-1", born=2)
+    before, after = make_server_record("i-1", born=1), make_server_record("i-1", born=2)
     router = make_router(before)
     router.learn(after, SETTLED)
     later = SETTLED + 1.1
@@ -140,7 +142,7 @@
 
 
 def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
-    mine = server("i-1")
+    mine = make_server_record("i-1")
     router = make_router(mine)
     router.install(routes(2, pagesetter=OTHER), SETTLED)
     assert router.handle(opening(), SETTLED) == Reset(0, "no-route")
@@ -149,13 +151,13 @@
 
 
 def test_a_document_with_a_lower_number_changes_nothing():
-    router = make_router(server("i-1"), number=5)
+    router = make_router(make_server_record("i-1"), number=5)
     assert router.install(routes(4, pagesetter=OTHER), SETTLED) is False
     assert isinstance(router.handle(opening(), SETTLED), Forward)
 
 
 def test_a_copy_of_an_opening_packet_goes_to_another_server():
-    first, second = server("i-1"), server("i-2")
+    first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
     one = router.handle(opening(), SETTLED).server
     two = router.handle(opening(copy=1), SETTLED + 0.2).server
@@ -163,20 +165,20 @@
 
 
 def test_the_same_opening_packet_twice_goes_to_the_same_server():
-    router = make_router(server("i-1"), server("i-2"))
+    router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     one = router.handle(opening(), SETTLED)
     assert router.handle(opening(), SETTLED + 0.01) == one
 
 
 def test_a_copy_that_comes_right_behind_says_nothing_about_the_server():
-    router = make_router(server("i-1"), server("i-2"))
+    router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     one = router.handle(opening(), SETTLED)
     assert router.handle(opening(copy=1), SETTLED + 0.05) == one
     assert router.load.local_loads[one.token].unanswered_syns == 0
 
 
 def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
-    dead, alive = server("i-1"), server("i-2")
+    dead, alive = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(dead, alive)
     router.load.local_load_at(alive.token).active_requests = 1
     assert router.handle(opening(1), SETTLED).server == dead
@@ -186,7 +188,7 @@
 
 
 def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
-    router = make_router(server("i-1"), server("i-2"))
+    router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     one = router.handle(opening(), SETTLED)
     two = router.handle(opening(copy=1), SETTLED + 0.2)
     assert router.handle(data(one.token), SETTLED + 0.3).server == one.server
@@ -195,10 +197,10 @@
 
 
 def test_servers_whose_tokens_clash_get_no_new_flow(monkeypatch):
-    router = make_router(server("i-1"))
+    router = make_router(make_server_record("i-1"))
     monkeypatch.setattr(Lifetime, "token", property(lambda self: 5))
-    router.learn(server("i-2"), 0.0)
-    router.learn(server("i-3"), 0.0)
+    router.learn(make_server_record("i-2"), 0.0)
+    router.learn(make_server_record("i-3"), 0.0)
     router.directory.by_service["entries"] = {
         token: one
         for token, one in router.directory.by_service["entries"].items()
@@ -216,34 +218,34 @@
 
 
 def test_a_lost_flow_is_reset_when_its_server_is_late_too():
-    mine = server("i-1")._replace(doubts=1)
-    router = make_router(mine, server("i-2"))
+    mine = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(mine, make_server_record("i-2"))
     assert repeated(router, mine.token, times=2) == Forward(mine, mine.token)
     assert router.handle(data(mine.token), SETTLED + 0.6) == Reset(500, "server-silent")
 
 
 def test_a_lost_flow_is_reset_when_its_zone_is_silent():
-    mine = server("i-1", zone="b")
+    mine = make_server_record("i-1", zone="b")
     router = make_router(mine)
     router.load.silent_zones = frozenset({"b"})
     assert isinstance(repeated(router, mine.token), Reset)
 
 
 def test_a_lost_flow_is_reset_when_opening_packets_go_unanswered():
-    mine = server("i-1")
+    mine = make_server_record("i-1")
     router = make_router(mine)
     router.load.local_load_at(mine.token).unanswered_syns = 1
     assert isinstance(repeated(router, mine.token), Reset)
 
 
 def test_a_caller_that_repeats_itself_alone_is_never_reset():
-    mine = server("i-1")
+    mine = make_server_record("i-1")
     router = make_router(mine)
     assert isinstance(repeated(router, mine.token, times=9), Forward)
 
 
 def test_a_server_that_answers_another_caller_has_not_lost_the_flow():
-    mine = server("i-1")._replace(doubts=1)
+    mine = make_server_record("i-1")._replace(doubts=1)
     router = make_router(mine)
     router.handle(data(mine.token), SETTLED)
     router.handle(data(mine.token, caller=2), SETTLED + 0.1)
@@ -253,13 +255,13 @@
 
 
 def test_packets_that_queued_while_this_vm_stood_still_reset_nothing():
-    mine = server("i-1")._replace(doubts=1)
+    mine = make_server_record("i-1")._replace(doubts=1)
     router = make_router(mine)
     assert isinstance(repeated(router, mine.token, times=9, gap_s=0.0), Forward)
 
 
 def test_an_answered_request_starts_the_count_anew():
-    mine = server("i-1")._replace(doubts=1)
+    mine = make_server_record("i-1")._replace(doubts=1)
     router = make_router(mine)
     repeated(router, mine.token, times=2)
     router.handle(data(mine.token, acknowledged=900, length=0), SETTLED + 0.4)
@@ -267,7 +269,7 @@
 
 
 def test_new_flows_wait_when_every_server_has_much_work_waiting():
-    mine = server("i-1")
+    mine = make_server_record("i-1")
     router = make_router(mine)
     router.load.local_load_at(mine.token).active_requests = 8
     assert router.handle(opening(), SETTLED) == Wait("no-slot")
@@ -279,7 +281,7 @@
     Head,
     flow=st.binary(min_size=12, max_size=12),
     route=st.sampled_from([ROUTE, OTHER]),
-    token=st.sampled_from([0, 1, server("i-1").token, 0xFFFFFFFF]),
+    token=st.sampled_from([0, 1, make_server_record("i-1").token, 0xFFFFFFFF]),
     is_opening=st.booleans(),
     is_closing=st.booleans(),
     copy=st.integers(0, 0xFFFFFFFF),
@@ -291,7 +293,7 @@
 
 @given(st.lists(HEADS, max_size=30))
 def test_whatever_comes_work_is_never_counted_below_zero(heads):
-    router = make_router(server("i-1"), server("i-2"))
+    router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     now = SETTLED
     for head in heads:
         now += 0.1
@@ -325,14 +327,14 @@
 
 
 def test_another_vm_is_asked_for_the_server_of_a_flow():
-    router, placer = asking_router(server("i-1"))
+    router, placer = asking_router(make_server_record("i-1"))
     head = opening()
     question = PlaceQuestion("e1", head.flow, "entries", (), False)
     assert router.handle(head, SETTLED) == Ask(placer, question)
 
 
 def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
-    first, second = server("i-1"), server("i-2")
+    first, second = make_server_record("i-1"), make_server_record("i-2")
     router, placer = asking_router(first, second)
     head = opening()
     router.handle(head, SETTLED)
@@ -345,27 +347,27 @@
 
 
 def test_a_chosen_server_that_is_not_known_or_leaves_is_not_taken():
-    leaving = server("i-2", number=2, phase=Phase.DRAINING)
-    other = server("i-3", service="pagesetter")
-    router, placer = asking_router(server("i-1"), leaving, other)
+    leaving = make_server_record("i-2", number=2, phase=Phase.DRAINING)
+    other = make_server_record("i-3", service="pagesetter")
+    router, placer = asking_router(make_server_record("i-1"), leaving, other)
     for token in (leaving.token, other.token, 77, 0):
         answer = PlaceAnswer(placer, opening().flow, token, False, 1)
         decision = router.place_as(opening(), answer, SETTLED)
-        assert decision.server == server("i-1")
+        assert decision.server == make_server_record("i-1")
 
 
 def test_an_opening_waits_while_every_server_is_full():
-    router, placer = asking_router(server("i-1"))
+    router, placer = asking_router(make_server_record("i-1"))
     head = opening()
     router.handle(head, SETTLED)
     router.waiting.put(head, b"one", SETTLED)
-    full = PlaceAnswer(placer, head.flow, server("i-1").token, True, 0)
+    full = PlaceAnswer(placer, head.flow, make_server_record("i-1").token, True, 0)
     assert router.take_answer(full, SETTLED) is None
     assert isinstance(router.handle(head, SETTLED + 0.05), Ask)
 
 
 def test_a_flow_is_placed_here_when_no_answer_comes():
-    router, placer = asking_router(server("i-1"))
+    router, placer = asking_router(make_server_record("i-1"))
     router.handle(opening(), SETTLED)
     assert router.handle(opening(), SETTLED + 0.02) == Wait("asked")
     assert isinstance(router.handle(opening(), SETTLED + 0.05), Forward)
@@ -373,7 +375,7 @@
 
 
 def test_a_flow_is_chosen_for_another_vm_by_all_work_in_the_zone():
-    first, second = server("i-1"), server("i-2")
+    first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
     chosen = set()
     for caller in range(2):
@@ -390,9 +392,9 @@
 
 
 def test_a_large_zone_tells_only_those_that_place():
-    router = make_router(server("i-1"))
+    router = make_router(make_server_record("i-1"))
     router.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
-    router.handle(data(server("i-1").token), SETTLED)
+    router.handle(data(make_server_record("i-1").token), SETTLED)
     told = [vm for vm, _ in router.tell(SETTLED)]
     placer = router.placers.placer("entries", SETTLED)
     assert told == [placer]
