--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -58,15 +58,15 @@
 
 
 def test_an_opening_packet_goes_to_a_server_of_the_routes_service():
-    mine = make_server_record("i-1")
-    router = make_router(mine, make_server_record("i-2", service="pagesetter"))
-    assert router.handle(opening(), SETTLED) == Forward(mine, mine.token)
+    record = make_server_record("i-1")
+    router = make_router(record, make_server_record("i-2", service="pagesetter"))
+    assert router.handle(opening(), SETTLED) == Forward(record, record.token)
 
 
 def test_later_packets_follow_their_token_without_any_record():
-    mine = make_server_record("i-1")
-    router = make_router(mine, make_server_record("i-2"))
-    assert router.handle(data(mine.token), SETTLED) == Forward(mine, mine.token)
+    record = make_server_record("i-1")
+    router = make_router(record, make_server_record("i-2"))
+    assert router.handle(data(record.token), SETTLED) == Forward(record, record.token)
 
 
 def test_an_unknown_token_is_asked_for_and_never_guessed():
@@ -76,12 +76,12 @@
 
 
 def test_held_packets_are_released_when_their_server_is_known():
-    mine = make_server_record("i-3")
+    record = make_server_record("i-3")
     router = make_router(make_server_record("i-1"))
-    head = data(mine.token)
+    head = data(record.token)
     assert router.held.put(head, b"one", SETTLED) is True
     assert router.held.put(head, b"two", SETTLED) is False
-    released = router.learn(mine, SETTLED + 0.1)
+    released = router.learn(record, SETTLED + 0.1)
     assert [held.data for held in released] == [b"one", b"two"]
     assert router.held.count == 0
 
@@ -142,12 +142,14 @@
 
 
 def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
-    mine = make_server_record("i-1")
-    router = make_router(mine)
+    record = make_server_record("i-1")
+    router = make_router(record)
     router.install(routes(2, pagesetter=OTHER), SETTLED)
     assert router.handle(opening(), SETTLED) == Reset(0, "no-route")
-    assert isinstance(router.handle(data(mine.token), SETTLED + 5.0), Forward)
-    assert router.handle(data(mine.token), SETTLED + 6.1) == Reset(500, "route-removed")
+    assert isinstance(router.handle(data(record.token), SETTLED + 5.0), Forward)
+    assert router.handle(data(record.token), SETTLED + 6.1) == Reset(
+        500, "route-removed"
+    )
 
 
 def test_a_document_with_a_lower_number_changes_nothing():
@@ -218,62 +220,66 @@
 
 
 def test_a_lost_flow_is_reset_when_its_server_is_late_too():
-    mine = make_server_record("i-1")._replace(doubts=1)
-    router = make_router(mine, make_server_record("i-2"))
-    assert repeated(router, mine.token, times=2) == Forward(mine, mine.token)
-    assert router.handle(data(mine.token), SETTLED + 0.6) == Reset(500, "server-silent")
+    record = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(record, make_server_record("i-2"))
+    assert repeated(router, record.token, times=2) == Forward(record, record.token)
+    assert router.handle(data(record.token), SETTLED + 0.6) == Reset(
+        500, "server-silent"
+    )
 
 
 def test_a_lost_flow_is_reset_when_its_zone_is_silent():
-    mine = make_server_record("i-1", zone="b")
-    router = make_router(mine)
+    record = make_server_record("i-1", zone="b")
+    router = make_router(record)
     router.load.silent_zones = frozenset({"b"})
-    assert isinstance(repeated(router, mine.token), Reset)
+    assert isinstance(repeated(router, record.token), Reset)
 
 
 def test_a_lost_flow_is_reset_when_opening_packets_go_unanswered():
-    mine = make_server_record("i-1")
-    router = make_router(mine)
-    router.load.local_load_at(mine.token).unanswered_syns = 1
-    assert isinstance(repeated(router, mine.token), Reset)
+    record = make_server_record("i-1")
+    router = make_router(record)
+    router.load.local_load_at(record.token).unanswered_syns = 1
+    assert isinstance(repeated(router, record.token), Reset)
 
 
 def test_a_caller_that_repeats_itself_alone_is_never_reset():
-    mine = make_server_record("i-1")
-    router = make_router(mine)
-    assert isinstance(repeated(router, mine.token, times=9), Forward)
+    record = make_server_record("i-1")
+    router = make_router(record)
+    assert isinstance(repeated(router, record.token, times=9), Forward)
 
 
 def test_a_server_that_answers_another_caller_has_not_lost_the_flow():
-    mine = make_server_record("i-1")._replace(doubts=1)
-    router = make_router(mine)
-    router.handle(data(mine.token), SETTLED)
-    router.handle(data(mine.token, caller=2), SETTLED + 0.1)
-    router.handle(data(mine.token, caller=2, acknowledged=900, length=0), SETTLED + 0.2)
-    router.handle(data(mine.token), SETTLED + 0.3)
-    assert isinstance(router.handle(data(mine.token), SETTLED + 0.6), Forward)
+    record = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(record)
+    router.handle(data(record.token), SETTLED)
+    router.handle(data(record.token, caller=2), SETTLED + 0.1)
+    router.handle(
+        data(record.token, caller=2, acknowledged=900, length=0), SETTLED + 0.2
+    )
+    router.handle(data(record.token), SETTLED + 0.3)
+    assert isinstance(router.handle(data(record.token), SETTLED + 0.6), Forward)
 
 
 def test_packets_that_queued_while_this_vm_stood_still_reset_nothing():
-    mine = make_server_record("i-1")._replace(doubts=1)
-    router = make_router(mine)
-    assert isinstance(repeated(router, mine.token, times=9, gap_s=0.0), Forward)
+    record = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(record)
+    assert isinstance(repeated(router, record.token, times=9, gap_s=0.0), Forward)
 
 
 def test_an_answered_request_starts_the_count_anew():
-    mine = make_server_record("i-1")._replace(doubts=1)
-    router = make_router(mine)
-    repeated(router, mine.token, times=2)
-    router.handle(data(mine.token, acknowledged=900, length=0), SETTLED + 0.4)
-    assert isinstance(router.handle(data(mine.token), SETTLED + 0.7), Forward)
+    record = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(record)
+    repeated(router, record.token, times=2)
+    router.handle(data(record.token, acknowledged=900, length=0), SETTLED + 0.4)
+    assert isinstance(router.handle(data(record.token), SETTLED + 0.7), Forward)
 
 
 def test_new_flows_wait_when_every_server_has_much_work_waiting():
-    mine = make_server_record("i-1")
-    router = make_router(mine)
-    router.load.local_load_at(mine.token).active_requests = 8
+    record = make_server_record("i-1")
+    router = make_router(record)
+    router.load.local_load_at(record.token).active_requests = 8
     assert router.handle(opening(), SETTLED) == Wait("no-slot")
-    router.load.local_load_at(mine.token).active_requests = 7
+    router.load.local_load_at(record.token).active_requests = 7
     assert isinstance(router.handle(opening(), SETTLED), Forward)
 
 
