--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -28,7 +28,7 @@
     return ServerRecord(report._replace(**other), "c1")
 
 
-def routes(number=1, **services):
+def make_route_set(number=1, **services):
     found = services or {"entries": ROUTE}
     table = tuple(
         Route(name, address, (Share(name, 1),)) for name, address in found.items()
@@ -51,7 +51,7 @@
 
 def make_router(*servers, now=0.0, number=1):
     router = TokenRouter(TokenSettings("e1", "a"), Random(1), now)
-    router.install(routes(number), now)
+    router.install(make_route_set(number), now)
     for one in servers:
         router.learn(one, now)
     return router
@@ -144,7 +144,7 @@
 def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
     record = make_server_record("i-1")
     router = make_router(record)
-    router.install(routes(2, pagesetter=OTHER), SETTLED)
+    router.install(make_route_set(2, pagesetter=OTHER), SETTLED)
     assert router.handle(opening(), SETTLED) == Reset(0, "no-route")
     assert isinstance(router.handle(data(record.token), SETTLED + 5.0), Forward)
     assert router.handle(data(record.token), SETTLED + 6.1) == Reset(
@@ -154,7 +154,7 @@
 
 def test_a_document_with_a_lower_number_changes_nothing():
     router = make_router(make_server_record("i-1"), number=5)
-    assert router.install(routes(4, pagesetter=OTHER), SETTLED) is False
+    assert router.install(make_route_set(4, pagesetter=OTHER), SETTLED) is False
     assert isinstance(router.handle(opening(), SETTLED), Forward)
 
 
