--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -36,16 +36,16 @@
     return RouteSet(number, table, frozenset(found), 15.0)
 
 
-def flow_of(caller, route):
+def make_flow_key(caller, route):
     return bytes([100, 64, 0, 1]) + caller.to_bytes(2) + route
 
 
 def opening(caller=1, copy=0, route=ROUTE):
-    return Head(flow_of(caller, route), route, 0, True, False, copy, 100, copy, 0)
+    return Head(make_flow_key(caller, route), route, 0, True, False, copy, 100, copy, 0)
 
 
 def data(token, caller=1, route=ROUTE, sequence=101, acknowledged=500, length=9):
-    flow = flow_of(caller, route)
+    flow = make_flow_key(caller, route)
     return Head(flow, route, token, False, False, 0, sequence, acknowledged, length)
 
 
@@ -315,7 +315,7 @@
 def test_a_route_shares_new_flows_by_weight(weights):
     shares = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
     route = Route("r", ROUTE, shares)
-    flows = [flow_of(caller, ROUTE) for caller in range(4000)]
+    flows = [make_flow_key(caller, ROUTE) for caller in range(4000)]
     found = [route.select_service(flow) for flow in flows]
     expected = weights[0] / sum(weights)
     assert abs(found.count("entries") / len(found) - expected) < 0.03
@@ -385,14 +385,14 @@
     router = make_router(first, second)
     chosen = set()
     for caller in range(2):
-        flow = flow_of(caller, ROUTE)
+        flow = make_flow_key(caller, ROUTE)
         question = PlaceQuestion("e2", flow, "entries", (), False)
         chosen.add(router.place_for(question, SETTLED).token)
     assert chosen == {first.token, second.token}
 
 
 def test_no_server_is_named_where_there_is_none():
-    question = PlaceQuestion("e2", flow_of(1, ROUTE), "entries", (), False)
+    question = PlaceQuestion("e2", make_flow_key(1, ROUTE), "entries", (), False)
     answer = make_router().place_for(question, SETTLED)
     assert (answer.token, answer.reservation) == (0, 0)
 
