--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -40,7 +40,7 @@
     return bytes([100, 64, 0, 1]) + caller.to_bytes(2) + route
 
 
-def opening(caller=1, copy=0, route=ROUTE):
+def make_syn(caller=1, copy=0, route=ROUTE):
     return Head(make_flow_key(caller, route), route, 0, True, False, copy, 100, copy, 0)
 
 
@@ -60,7 +60,7 @@
 def test_an_opening_packet_goes_to_a_server_of_the_routes_service():
     record = make_server_record("i-1")
     router = make_router(record, make_server_record("i-2", service="pagesetter"))
-    assert router.handle(opening(), SETTLED) == Forward(record, record.token)
+    assert router.handle(make_syn(), SETTLED) == Forward(record, record.token)
 
 
 def test_later_packets_follow_their_token_without_any_record():
@@ -97,18 +97,18 @@
 
 def test_a_route_that_never_was_is_refused_at_once():
     router = make_router(make_server_record("i-1"))
-    assert router.handle(opening(route=OTHER), SETTLED) == Reset(0, "no-route")
+    assert router.handle(make_syn(route=OTHER), SETTLED) == Reset(0, "no-route")
 
 
 def test_openings_wait_until_a_document_is_there():
     router = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
-    assert router.handle(opening(), SETTLED) == Wait("no-document")
+    assert router.handle(make_syn(), SETTLED) == Wait("no-document")
 
 
 def test_openings_wait_for_a_first_server_and_are_refused_when_none_comes():
     router = make_router(now=0.0)
-    assert router.handle(opening(), 4.0) == Wait("no-server-yet")
-    assert router.handle(opening(), 6.0) == Reset(0, "no-server")
+    assert router.handle(make_syn(), 4.0) == Wait("no-server-yet")
+    assert router.handle(make_syn(), 6.0) == Reset(0, "no-server")
 
 
 def test_a_leaving_server_gets_no_new_flow_and_keeps_its_open_ones():
@@ -116,7 +116,7 @@
     staying = make_server_record("i-2")
     router = make_router(leaving, staying)
     for caller in range(6):
-        decision = router.handle(opening(caller), SETTLED)
+        decision = router.handle(make_syn(caller), SETTLED)
         assert decision.server == staying
     assert router.handle(data(leaving.token), SETTLED).server == leaving
 
@@ -145,7 +145,7 @@
     record = make_server_record("i-1")
     router = make_router(record)
     router.install(make_route_set(2, pagesetter=OTHER), SETTLED)
-    assert router.handle(opening(), SETTLED) == Reset(0, "no-route")
+    assert router.handle(make_syn(), SETTLED) == Reset(0, "no-route")
     assert isinstance(router.handle(data(record.token), SETTLED + 5.0), Forward)
     assert router.handle(data(record.token), SETTLED + 6.1) == Reset(
         500, "route-removed"
@@ -155,27 +155,27 @@
 def test_a_document_with_a_lower_number_changes_nothing():
     router = make_router(make_server_record("i-1"), number=5)
     assert router.install(make_route_set(4, pagesetter=OTHER), SETTLED) is False
-    assert isinstance(router.handle(opening(), SETTLED), Forward)
+    assert isinstance(router.handle(make_syn(), SETTLED), Forward)
 
 
 def test_a_copy_of_an_opening_packet_goes_to_another_server():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
-    one = router.handle(opening(), SETTLED).server
-    two = router.handle(opening(copy=1), SETTLED + 0.2).server
+    one = router.handle(make_syn(), SETTLED).server
+    two = router.handle(make_syn(copy=1), SETTLED + 0.2).server
     assert {one, two} == {first, second}
 
 
 def test_the_same_opening_packet_twice_goes_to_the_same_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    one = router.handle(opening(), SETTLED)
-    assert router.handle(opening(), SETTLED + 0.01) == one
+    one = router.handle(make_syn(), SETTLED)
+    assert router.handle(make_syn(), SETTLED + 0.01) == one
 
 
 def test_a_copy_that_comes_right_behind_says_nothing_about_the_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    one = router.handle(opening(), SETTLED)
-    assert router.handle(opening(copy=1), SETTLED + 0.05) == one
+    one = router.handle(make_syn(), SETTLED)
+    assert router.handle(make_syn(copy=1), SETTLED + 0.05) == one
     assert router.load.local_loads[one.token].unanswered_syns == 0
 
 
@@ -183,16 +183,16 @@
     dead, alive = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(dead, alive)
     router.load.local_load_at(alive.token).active_requests = 1
-    assert router.handle(opening(1), SETTLED).server == dead
-    router.handle(opening(1, copy=1), SETTLED + 0.2)
-    assert router.handle(opening(2), SETTLED + 0.3).server == alive
-    assert router.handle(opening(3), SETTLED + 0.9).server == dead
+    assert router.handle(make_syn(1), SETTLED).server == dead
+    router.handle(make_syn(1, copy=1), SETTLED + 0.2)
+    assert router.handle(make_syn(2), SETTLED + 0.3).server == alive
+    assert router.handle(make_syn(3), SETTLED + 0.9).server == dead
 
 
 def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    one = router.handle(opening(), SETTLED)
-    two = router.handle(opening(copy=1), SETTLED + 0.2)
+    one = router.handle(make_syn(), SETTLED)
+    two = router.handle(make_syn(copy=1), SETTLED + 0.2)
     assert router.handle(data(one.token), SETTLED + 0.3).server == one.server
     late = router.handle(data(two.token, sequence=110), SETTLED + 0.4)
     assert late == Forward(one.server, one.token)
@@ -209,7 +209,7 @@
         if token == 5
     }
     assert router.directory.colliding_tokens == {5}
-    assert router.handle(opening(), 3.0) == Wait("no-server-yet")
+    assert router.handle(make_syn(), 3.0) == Wait("no-server-yet")
 
 
 def repeated(router, token, times=3, gap_s=0.3):
@@ -278,9 +278,9 @@
     record = make_server_record("i-1")
     router = make_router(record)
     router.load.local_load_at(record.token).active_requests = 8
-    assert router.handle(opening(), SETTLED) == Wait("no-slot")
+    assert router.handle(make_syn(), SETTLED) == Wait("no-slot")
     router.load.local_load_at(record.token).active_requests = 7
-    assert isinstance(router.handle(opening(), SETTLED), Forward)
+    assert isinstance(router.handle(make_syn(), SETTLED), Forward)
 
 
 HEADS = st.builds(
@@ -334,7 +334,7 @@
 
 def test_another_vm_is_asked_for_the_server_of_a_flow():
     router, placer = asking_router(make_server_record("i-1"))
-    head = opening()
+    head = make_syn()
     question = PlaceQuestion("e1", head.flow, "entries", (), False)
     assert router.handle(head, SETTLED) == Ask(placer, question)
 
@@ -342,7 +342,7 @@
 def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router, placer = asking_router(first, second)
-    head = opening()
+    head = make_syn()
     router.handle(head, SETTLED)
     router.waiting.put(head, b"one", SETTLED)
     for token in (first.token, second.token):
@@ -357,14 +357,14 @@
     other = make_server_record("i-3", service="pagesetter")
     router, placer = asking_router(make_server_record("i-1"), leaving, other)
     for token in (leaving.token, other.token, 77, 0):
-        answer = PlaceAnswer(placer, opening().flow, token, False, 1)
-        decision = router.place_as(opening(), answer, SETTLED)
+        answer = PlaceAnswer(placer, make_syn().flow, token, False, 1)
+        decision = router.place_as(make_syn(), answer, SETTLED)
         assert decision.server == make_server_record("i-1")
 
 
 def test_an_opening_waits_while_every_server_is_full():
     router, placer = asking_router(make_server_record("i-1"))
-    head = opening()
+    head = make_syn()
     router.handle(head, SETTLED)
     router.waiting.put(head, b"one", SETTLED)
     full = PlaceAnswer(placer, head.flow, make_server_record("i-1").token, True, 0)
@@ -374,10 +374,10 @@
 
 def test_a_flow_is_placed_here_when_no_answer_comes():
     router, placer = asking_router(make_server_record("i-1"))
-    router.handle(opening(), SETTLED)
-    assert router.handle(opening(), SETTLED + 0.02) == Wait("asked")
-    assert isinstance(router.handle(opening(), SETTLED + 0.05), Forward)
-    assert isinstance(router.handle(opening(2), SETTLED + 0.06), Forward)
+    router.handle(make_syn(), SETTLED)
+    assert router.handle(make_syn(), SETTLED + 0.02) == Wait("asked")
+    assert isinstance(router.handle(make_syn(), SETTLED + 0.05), Forward)
+    assert isinstance(router.handle(make_syn(2), SETTLED + 0.06), Forward)
 
 
 def test_a_flow_is_chosen_for_another_vm_by_all_work_in_the_zone():
