--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -44,7 +44,9 @@
     return Head(make_flow_key(caller, route), route, 0, True, False, copy, 100, copy, 0)
 
 
-def data(token, caller=1, route=ROUTE, sequence=101, acknowledged=500, length=9):
+def make_data_packet(
+    token, caller=1, route=ROUTE, sequence=101, acknowledged=500, length=9
+):
     flow = make_flow_key(caller, route)
     return Head(flow, route, token, False, False, 0, sequence, acknowledged, length)
 
@@ -66,19 +68,21 @@
 def test_later_packets_follow_their_token_without_any_record():
     record = make_server_record("i-1")
     router = make_router(record, make_server_record("i-2"))
-    assert router.handle(data(record.token), SETTLED) == Forward(record, record.token)
+    assert router.handle(make_data_packet(record.token), SETTLED) == Forward(
+        record, record.token
+    )
 
 
 def test_an_unknown_token_is_asked_for_and_never_guessed():
     router = make_router(make_server_record("i-1"))
-    assert router.handle(data(77), SETTLED) == Hold(77)
-    assert router.handle(data(0), SETTLED) == Drop("no-token")
+    assert router.handle(make_data_packet(77), SETTLED) == Hold(77)
+    assert router.handle(make_data_packet(0), SETTLED) == Drop("no-token")
 
 
 def test_held_packets_are_released_when_their_server_is_known():
     record = make_server_record("i-3")
     router = make_router(make_server_record("i-1"))
-    head = data(record.token)
+    head = make_data_packet(record.token)
     assert router.held.put(head, b"one", SETTLED) is True
     assert router.held.put(head, b"two", SETTLED) is False
     released = router.learn(record, SETTLED + 0.1)
@@ -88,7 +92,7 @@
 
 def test_held_packets_are_dropped_after_a_while():
     router = make_router()
-    router.held.put(data(77), b"one", SETTLED)
+    router.held.put(make_data_packet(77), b"one", SETTLED)
     router.sweep(SETTLED + 1.4)
     assert router.held.count == 1
     router.sweep(SETTLED + 1.6)
@@ -118,7 +122,7 @@
     for caller in range(6):
         decision = router.handle(make_syn(caller), SETTLED)
         assert decision.server == staying
-    assert router.handle(data(leaving.token), SETTLED).server == leaving
+    assert router.handle(make_data_packet(leaving.token), SETTLED).server == leaving
 
 
 def test_flows_of_an_ended_server_are_reset_after_a_moment():
@@ -126,10 +130,10 @@
     over = make_server_record("i-1", number=2, phase=Phase.ENDED)
     router.learn(over, SETTLED)
     token = over.token
-    assert isinstance(router.handle(data(token), SETTLED + 0.5), Forward)
-    assert router.handle(data(token, acknowledged=640), SETTLED + 1.1) == Reset(
-        640, "server-ended"
-    )
+    assert isinstance(router.handle(make_data_packet(token), SETTLED + 0.5), Forward)
+    assert router.handle(
+        make_data_packet(token, acknowledged=640), SETTLED + 1.1
+    ) == Reset(640, "server-ended")
 
 
 def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
@@ -137,8 +141,8 @@
     router = make_router(before)
     router.learn(after, SETTLED)
     later = SETTLED + 1.1
-    assert isinstance(router.handle(data(before.token), later), Reset)
-    assert router.handle(data(after.token), later).server == after
+    assert isinstance(router.handle(make_data_packet(before.token), later), Reset)
+    assert router.handle(make_data_packet(after.token), later).server == after
 
 
 def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
@@ -146,8 +150,10 @@
     router = make_router(record)
     router.install(make_route_set(2, pagesetter=OTHER), SETTLED)
     assert router.handle(make_syn(), SETTLED) == Reset(0, "no-route")
-    assert isinstance(router.handle(data(record.token), SETTLED + 5.0), Forward)
-    assert router.handle(data(record.token), SETTLED + 6.1) == Reset(
+    assert isinstance(
+        router.handle(make_data_packet(record.token), SETTLED + 5.0), Forward
+    )
+    assert router.handle(make_data_packet(record.token), SETTLED + 6.1) == Reset(
         500, "route-removed"
     )
 
@@ -193,8 +199,10 @@
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     one = router.handle(make_syn(), SETTLED)
     two = router.handle(make_syn(copy=1), SETTLED + 0.2)
-    assert router.handle(data(one.token), SETTLED + 0.3).server == one.server
-    late = router.handle(data(two.token, sequence=110), SETTLED + 0.4)
+    assert (
+        router.handle(make_data_packet(one.token), SETTLED + 0.3).server == one.server
+    )
+    late = router.handle(make_data_packet(two.token, sequence=110), SETTLED + 0.4)
     assert late == Forward(one.server, one.token)
 
 
@@ -215,7 +223,7 @@
 def repeated(router, token, times=3, gap_s=0.3):
     """Send the same data several times; return the last decision."""
     for count in range(times):
-        decision = router.handle(data(token), SETTLED + count * gap_s)
+        decision = router.handle(make_data_packet(token), SETTLED + count * gap_s)
     return decision
 
 
@@ -223,7 +231,7 @@
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record, make_server_record("i-2"))
     assert repeated(router, record.token, times=2) == Forward(record, record.token)
-    assert router.handle(data(record.token), SETTLED + 0.6) == Reset(
+    assert router.handle(make_data_packet(record.token), SETTLED + 0.6) == Reset(
         500, "server-silent"
     )
 
@@ -251,13 +259,16 @@
 def test_a_server_that_answers_another_caller_has_not_lost_the_flow():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
-    router.handle(data(record.token), SETTLED)
-    router.handle(data(record.token, caller=2), SETTLED + 0.1)
+    router.handle(make_data_packet(record.token), SETTLED)
+    router.handle(make_data_packet(record.token, caller=2), SETTLED + 0.1)
     router.handle(
-        data(record.token, caller=2, acknowledged=900, length=0), SETTLED + 0.2
+        make_data_packet(record.token, caller=2, acknowledged=900, length=0),
+        SETTLED + 0.2,
+    )
+    router.handle(make_data_packet(record.token), SETTLED + 0.3)
+    assert isinstance(
+        router.handle(make_data_packet(record.token), SETTLED + 0.6), Forward
     )
-    router.handle(data(record.token), SETTLED + 0.3)
-    assert isinstance(router.handle(data(record.token), SETTLED + 0.6), Forward)
 
 
 def test_packets_that_queued_while_this_vm_stood_still_reset_nothing():
@@ -270,8 +281,12 @@
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
     repeated(router, record.token, times=2)
-    router.handle(data(record.token, acknowledged=900, length=0), SETTLED + 0.4)
-    assert isinstance(router.handle(data(record.token), SETTLED + 0.7), Forward)
+    router.handle(
+        make_data_packet(record.token, acknowledged=900, length=0), SETTLED + 0.4
+    )
+    assert isinstance(
+        router.handle(make_data_packet(record.token), SETTLED + 0.7), Forward
+    )
 
 
 def test_new_flows_wait_when_every_server_has_much_work_waiting():
@@ -400,7 +415,7 @@
 def test_a_large_zone_tells_only_those_that_place():
     router = make_router(make_server_record("i-1"))
     router.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
-    router.handle(data(make_server_record("i-1").token), SETTLED)
+    router.handle(make_data_packet(make_server_record("i-1").token), SETTLED)
     told = [vm for vm, _ in router.tell(SETTLED)]
     placer = router.placers.placer("entries", SETTLED)
     assert told == [placer]
