--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -220,7 +220,7 @@
     assert router.handle(make_syn(), 3.0) == Wait("no-server-yet")
 
 
-def repeated(router, token, times=3, gap_s=0.3):
+def retransmit(router, token, times=3, gap_s=0.3):
     """Send the same data several times; return the last decision."""
     for count in range(times):
         decision = router.handle(make_data_packet(token), SETTLED + count * gap_s)
@@ -230,7 +230,7 @@
 def test_a_lost_flow_is_reset_when_its_server_is_late_too():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record, make_server_record("i-2"))
-    assert repeated(router, record.token, times=2) == Forward(record, record.token)
+    assert retransmit(router, record.token, times=2) == Forward(record, record.token)
     assert router.handle(make_data_packet(record.token), SETTLED + 0.6) == Reset(
         500, "server-silent"
     )
@@ -240,20 +240,20 @@
     record = make_server_record("i-1", zone="b")
     router = make_router(record)
     router.load.silent_zones = frozenset({"b"})
-    assert isinstance(repeated(router, record.token), Reset)
+    assert isinstance(retransmit(router, record.token), Reset)
 
 
 def test_a_lost_flow_is_reset_when_opening_packets_go_unanswered():
     record = make_server_record("i-1")
     router = make_router(record)
     router.load.local_load_at(record.token).unanswered_syns = 1
-    assert isinstance(repeated(router, record.token), Reset)
+    assert isinstance(retransmit(router, record.token), Reset)
 
 
 def test_a_caller_that_repeats_itself_alone_is_never_reset():
     record = make_server_record("i-1")
     router = make_router(record)
-    assert isinstance(repeated(router, record.token, times=9), Forward)
+    assert isinstance(retransmit(router, record.token, times=9), Forward)
 
 
 def test_a_server_that_answers_another_caller_has_not_lost_the_flow():
@@ -274,13 +274,13 @@
 def test_packets_that_queued_while_this_vm_stood_still_reset_nothing():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
-    assert isinstance(repeated(router, record.token, times=9, gap_s=0.0), Forward)
+    assert isinstance(retransmit(router, record.token, times=9, gap_s=0.0), Forward)
 
 
 def test_an_answered_request_starts_the_count_anew():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
-    repeated(router, record.token, times=2)
+    retransmit(router, record.token, times=2)
     router.handle(
         make_data_packet(record.token, acknowledged=900, length=0), SETTLED + 0.4
     )
