--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -336,7 +336,7 @@
     assert abs(found.count("entries") / len(found) - expected) < 0.03
 
 
-def asking_router(*servers):
+def make_router_with_other_coordinator(*servers):
     """Return a router and the other VM that places the flows of ``entries``."""
     router = make_router(*servers)
     for peers in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
@@ -348,7 +348,7 @@
 
 
 def test_another_vm_is_asked_for_the_server_of_a_flow():
-    router, placer = asking_router(make_server_record("i-1"))
+    router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
     head = make_syn()
     question = PlaceQuestion("e1", head.flow, "entries", (), False)
     assert router.handle(head, SETTLED) == Ask(placer, question)
@@ -356,7 +356,7 @@
 
 def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
     first, second = make_server_record("i-1"), make_server_record("i-2")
-    router, placer = asking_router(first, second)
+    router, placer = make_router_with_other_coordinator(first, second)
     head = make_syn()
     router.handle(head, SETTLED)
     router.waiting.put(head, b"one", SETTLED)
@@ -370,7 +370,9 @@
 def test_a_chosen_server_that_is_not_known_or_leaves_is_not_taken():
     leaving = make_server_record("i-2", number=2, phase=Phase.DRAINING)
     other = make_server_record("i-3", service="pagesetter")
-    router, placer = asking_router(make_server_record("i-1"), leaving, other)
+    router, placer = make_router_with_other_coordinator(
+        make_server_record("i-1"), leaving, other
+    )
     for token in (leaving.token, other.token, 77, 0):
         answer = PlaceAnswer(placer, make_syn().flow, token, False, 1)
         decision = router.place_as(make_syn(), answer, SETTLED)
@@ -378,7 +380,7 @@
 
 
 def test_an_opening_waits_while_every_server_is_full():
-    router, placer = asking_router(make_server_record("i-1"))
+    router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
     head = make_syn()
     router.handle(head, SETTLED)
     router.waiting.put(head, b"one", SETTLED)
@@ -388,7 +390,7 @@
 
 
 def test_a_flow_is_placed_here_when_no_answer_comes():
-    router, placer = asking_router(make_server_record("i-1"))
+    router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
     router.handle(make_syn(), SETTLED)
     assert router.handle(make_syn(), SETTLED + 0.02) == Wait("asked")
     assert isinstance(router.handle(make_syn(), SETTLED + 0.05), Forward)
