--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -15,7 +15,7 @@
 from kumquatmux_tokens.settings import TokenSettings
 
 ROUTE = bytes([198, 18, 0, 1, 1, 187])
-OTHER = bytes([198, 18, 0, 2, 1, 187])
+OTHER_ROUTE_ADDRESS = bytes([198, 18, 0, 2, 1, 187])
 SETTLED = 10.0
 
 
@@ -101,7 +101,9 @@
 
 def test_a_route_that_never_was_is_refused_at_once():
     router = make_router(make_server_record("i-1"))
-    assert router.handle(make_syn(route=OTHER), SETTLED) == Reset(0, "no-route")
+    assert router.handle(make_syn(route=OTHER_ROUTE_ADDRESS), SETTLED) == Reset(
+        0, "no-route"
+    )
 
 
 def test_openings_wait_until_a_document_is_there():
@@ -148,7 +150,7 @@
 def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
     record = make_server_record("i-1")
     router = make_router(record)
-    router.install(make_route_set(2, pagesetter=OTHER), SETTLED)
+    router.install(make_route_set(2, pagesetter=OTHER_ROUTE_ADDRESS), SETTLED)
     assert router.handle(make_syn(), SETTLED) == Reset(0, "no-route")
     assert isinstance(
         router.handle(make_data_packet(record.token), SETTLED + 5.0), Forward
@@ -160,7 +162,10 @@
 
 def test_a_document_with_a_lower_number_changes_nothing():
     router = make_router(make_server_record("i-1"), number=5)
-    assert router.install(make_route_set(4, pagesetter=OTHER), SETTLED) is False
+    assert (
+        router.install(make_route_set(4, pagesetter=OTHER_ROUTE_ADDRESS), SETTLED)
+        is False
+    )
     assert isinstance(router.handle(make_syn(), SETTLED), Forward)
 
 
@@ -301,7 +306,7 @@
 HEADS = st.builds(
     Head,
     flow=st.binary(min_size=12, max_size=12),
-    route=st.sampled_from([ROUTE, OTHER]),
+    route=st.sampled_from([ROUTE, OTHER_ROUTE_ADDRESS]),
     token=st.sampled_from([0, 1, make_server_record("i-1").token, 0xFFFFFFFF]),
     is_opening=st.booleans(),
     is_closing=st.booleans(),
