--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -14,7 +14,7 @@
 from kumquatmux_tokens.routes import Route, RouteSet, Share
 from kumquatmux_tokens.settings import TokenSettings
 
-ROUTE = bytes([198, 18, 0, 1, 1, 187])
+ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
 OTHER_ROUTE_ADDRESS = bytes([198, 18, 0, 2, 1, 187])
 SETTLED = 10.0
 
@@ -29,7 +29,7 @@
 
 
 def make_route_set(number=1, **services):
-    found = services or {"entries": ROUTE}
+    found = services or {"entries": ROUTE_ADDRESS}
     table = tuple(
         Route(name, address, (Share(name, 1),)) for name, address in found.items()
     )
@@ -40,12 +40,12 @@
     return bytes([100, 64, 0, 1]) + caller.to_bytes(2) + route
 
 
-def make_syn(caller=1, copy=0, route=ROUTE):
+def make_syn(caller=1, copy=0, route=ROUTE_ADDRESS):
     return Head(make_flow_key(caller, route), route, 0, True, False, copy, 100, copy, 0)
 
 
 def make_data_packet(
-    token, caller=1, route=ROUTE, sequence=101, acknowledged=500, length=9
+    token, caller=1, route=ROUTE_ADDRESS, sequence=101, acknowledged=500, length=9
 ):
     flow = make_flow_key(caller, route)
     return Head(flow, route, token, False, False, 0, sequence, acknowledged, length)
@@ -306,7 +306,7 @@
 HEADS = st.builds(
     Head,
     flow=st.binary(min_size=12, max_size=12),
-    route=st.sampled_from([ROUTE, OTHER_ROUTE_ADDRESS]),
+    route=st.sampled_from([ROUTE_ADDRESS, OTHER_ROUTE_ADDRESS]),
     token=st.sampled_from([0, 1, make_server_record("i-1").token, 0xFFFFFFFF]),
     is_opening=st.booleans(),
     is_closing=st.booleans(),
@@ -334,8 +334,8 @@
 @pytest.mark.parametrize("weights", [(1, 0), (0, 1), (3, 1)])
 def test_a_route_shares_new_flows_by_weight(weights):
     shares = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
-    route = Route("r", ROUTE, shares)
-    flows = [make_flow_key(caller, ROUTE) for caller in range(4000)]
+    route = Route("r", ROUTE_ADDRESS, shares)
+    flows = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
     found = [route.select_service(flow) for flow in flows]
     expected = weights[0] / sum(weights)
     assert abs(found.count("entries") / len(found) - expected) < 0.03
@@ -407,14 +407,16 @@
     router = make_router(first, second)
     chosen = set()
     for caller in range(2):
-        flow = make_flow_key(caller, ROUTE)
+        flow = make_flow_key(caller, ROUTE_ADDRESS)
         question = PlaceQuestion("e2", flow, "entries", (), False)
         chosen.add(router.place_for(question, SETTLED).token)
     assert chosen == {first.token, second.token}
 
 
 def test_no_server_is_named_where_there_is_none():
-    question = PlaceQuestion("e2", make_flow_key(1, ROUTE), "entries", (), False)
+    question = PlaceQuestion(
+        "e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False
+    )
     answer = make_router().place_for(question, SETTLED)
     assert (answer.token, answer.reservation) == (0, 0)
 
