--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -16,7 +16,7 @@
 
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
 OTHER_ROUTE_ADDRESS = bytes([198, 18, 0, 2, 1, 187])
-SETTLED = 10.0
+NOW_S = 10.0
 
 
 def make_server_record(
@@ -62,53 +62,53 @@
 def test_an_opening_packet_goes_to_a_server_of_the_routes_service():
     record = make_server_record("i-1")
     router = make_router(record, make_server_record("i-2", service="pagesetter"))
-    assert router.handle(make_syn(), SETTLED) == Forward(record, record.token)
+    assert router.handle(make_syn(), NOW_S) == Forward(record, record.token)
 
 
 def test_later_packets_follow_their_token_without_any_record():
     record = make_server_record("i-1")
     router = make_router(record, make_server_record("i-2"))
-    assert router.handle(make_data_packet(record.token), SETTLED) == Forward(
+    assert router.handle(make_data_packet(record.token), NOW_S) == Forward(
         record, record.token
     )
 
 
 def test_an_unknown_token_is_asked_for_and_never_guessed():
     router = make_router(make_server_record("i-1"))
-    assert router.handle(make_data_packet(77), SETTLED) == Hold(77)
-    assert router.handle(make_data_packet(0), SETTLED) == Drop("no-token")
+    assert router.handle(make_data_packet(77), NOW_S) == Hold(77)
+    assert router.handle(make_data_packet(0), NOW_S) == Drop("no-token")
 
 
 def test_held_packets_are_released_when_their_server_is_known():
     record = make_server_record("i-3")
     router = make_router(make_server_record("i-1"))
     head = make_data_packet(record.token)
-    assert router.held.put(head, b"one", SETTLED) is True
-    assert router.held.put(head, b"two", SETTLED) is False
-    released = router.learn(record, SETTLED + 0.1)
+    assert router.held.put(head, b"one", NOW_S) is True
+    assert router.held.put(head, b"two", NOW_S) is False
+    released = router.learn(record, NOW_S + 0.1)
     assert [held.data for held in released] == [b"one", b"two"]
     assert router.held.count == 0
 
 
 def test_held_packets_are_dropped_after_a_while():
     router = make_router()
-    router.held.put(make_data_packet(77), b"one", SETTLED)
-    router.sweep(SETTLED + 1.4)
+    router.held.put(make_data_packet(77), b"one", NOW_S)
+    router.sweep(NOW_S + 1.4)
     assert router.held.count == 1
-    router.sweep(SETTLED + 1.6)
+    router.sweep(NOW_S + 1.6)
     assert router.held.count == 0
 
 
 def test_a_route_that_never_was_is_refused_at_once():
     router = make_router(make_server_record("i-1"))
-    assert router.handle(make_syn(route=OTHER_ROUTE_ADDRESS), SETTLED) == Reset(
+    assert router.handle(make_syn(route=OTHER_ROUTE_ADDRESS), NOW_S) == Reset(
         0, "no-route"
     )
 
 
 def test_openings_wait_until_a_document_is_there():
     router = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
-    assert router.handle(make_syn(), SETTLED) == Wait("no-document")
+    assert router.handle(make_syn(), NOW_S) == Wait("no-document")
 
 
 def test_openings_wait_for_a_first_server_and_are_refused_when_none_comes():
@@ -122,27 +122,27 @@
     staying = make_server_record("i-2")
     router = make_router(leaving, staying)
     for caller in range(6):
-        decision = router.handle(make_syn(caller), SETTLED)
+        decision = router.handle(make_syn(caller), NOW_S)
         assert decision.server == staying
-    assert router.handle(make_data_packet(leaving.token), SETTLED).server == leaving
+    assert router.handle(make_data_packet(leaving.token), NOW_S).server == leaving
 
 
 def test_flows_of_an_ended_server_are_reset_after_a_moment():
     router = make_router(make_server_record("i-1"))
     over = make_server_record("i-1", number=2, phase=Phase.ENDED)
-    router.learn(over, SETTLED)
+    router.learn(over, NOW_S)
     token = over.token
-    assert isinstance(router.handle(make_data_packet(token), SETTLED + 0.5), Forward)
+    assert isinstance(router.handle(make_data_packet(token), NOW_S + 0.5), Forward)
     assert router.handle(
-        make_data_packet(token, acknowledged=640), SETTLED + 1.1
+        make_data_packet(token, acknowledged=640), NOW_S + 1.1
     ) == Reset(640, "server-ended")
 
 
 def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
     before, after = make_server_record("i-1", born=1), make_server_record("i-1", born=2)
     router = make_router(before)
-    router.learn(after, SETTLED)
-    later = SETTLED + 1.1
+    router.learn(after, NOW_S)
+    later = NOW_S + 1.1
     assert isinstance(router.handle(make_data_packet(before.token), later), Reset)
     assert router.handle(make_data_packet(after.token), later).server == after
 
@@ -150,12 +150,12 @@
 def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
     record = make_server_record("i-1")
     router = make_router(record)
-    router.install(make_route_set(2, pagesetter=OTHER_ROUTE_ADDRESS), SETTLED)
-    assert router.handle(make_syn(), SETTLED) == Reset(0, "no-route")
+    router.install(make_route_set(2, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
+    assert router.handle(make_syn(), NOW_S) == Reset(0, "no-route")
     assert isinstance(
-        router.handle(make_data_packet(record.token), SETTLED + 5.0), Forward
+        router.handle(make_data_packet(record.token), NOW_S + 5.0), Forward
     )
-    assert router.handle(make_data_packet(record.token), SETTLED + 6.1) == Reset(
+    assert router.handle(make_data_packet(record.token), NOW_S + 6.1) == Reset(
         500, "route-removed"
     )
 
@@ -163,30 +163,30 @@
 def test_a_document_with_a_lower_number_changes_nothing():
     router = make_router(make_server_record("i-1"), number=5)
     assert (
-        router.install(make_route_set(4, pagesetter=OTHER_ROUTE_ADDRESS), SETTLED)
+        router.install(make_route_set(4, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
         is False
     )
-    assert isinstance(router.handle(make_syn(), SETTLED), Forward)
+    assert isinstance(router.handle(make_syn(), NOW_S), Forward)
 
 
 def test_a_copy_of_an_opening_packet_goes_to_another_server():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
-    one = router.handle(make_syn(), SETTLED).server
-    two = router.handle(make_syn(copy=1), SETTLED + 0.2).server
+    one = router.handle(make_syn(), NOW_S).server
+    two = router.handle(make_syn(copy=1), NOW_S + 0.2).server
     assert {one, two} == {first, second}
 
 
 def test_the_same_opening_packet_twice_goes_to_the_same_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    one = router.handle(make_syn(), SETTLED)
-    assert router.handle(make_syn(), SETTLED + 0.01) == one
+    one = router.handle(make_syn(), NOW_S)
+    assert router.handle(make_syn(), NOW_S + 0.01) == one
 
 
 def test_a_copy_that_comes_right_behind_says_nothing_about_the_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    one = router.handle(make_syn(), SETTLED)
-    assert router.handle(make_syn(copy=1), SETTLED + 0.05) == one
+    one = router.handle(make_syn(), NOW_S)
+    assert router.handle(make_syn(copy=1), NOW_S + 0.05) == one
     assert router.load.local_loads[one.token].unanswered_syns == 0
 
 
@@ -194,20 +194,18 @@
     dead, alive = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(dead, alive)
     router.load.local_load_at(alive.token).active_requests = 1
-    assert router.handle(make_syn(1), SETTLED).server == dead
-    router.handle(make_syn(1, copy=1), SETTLED + 0.2)
-    assert router.handle(make_syn(2), SETTLED + 0.3).server == alive
-    assert router.handle(make_syn(3), SETTLED + 0.9).server == dead
+    assert router.handle(make_syn(1), NOW_S).server == dead
+    router.handle(make_syn(1, copy=1), NOW_S + 0.2)
+    assert router.handle(make_syn(2), NOW_S + 0.3).server == alive
+    assert router.handle(make_syn(3), NOW_S + 0.9).server == dead
 
 
 def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    one = router.handle(make_syn(), SETTLED)
-    two = router.handle(make_syn(copy=1), SETTLED + 0.2)
-    assert (
-        router.handle(make_data_packet(one.token), SETTLED + 0.3).server == one.server
-    )
-    late = router.handle(make_data_packet(two.token, sequence=110), SETTLED + 0.4)
+    one = router.handle(make_syn(), NOW_S)
+    two = router.handle(make_syn(copy=1), NOW_S + 0.2)
+    assert router.handle(make_data_packet(one.token), NOW_S + 0.3).server == one.server
+    late = router.handle(make_data_packet(two.token, sequence=110), NOW_S + 0.4)
     assert late == Forward(one.server, one.token)
 
 
@@ -228,7 +226,7 @@
 def retransmit(router, token, times=3, gap_s=0.3):
     """Send the same data several times; return the last decision."""
     for count in range(times):
-        decision = router.handle(make_data_packet(token), SETTLED + count * gap_s)
+        decision = router.handle(make_data_packet(token), NOW_S + count * gap_s)
     return decision
 
 
@@ -236,7 +234,7 @@
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record, make_server_record("i-2"))
     assert retransmit(router, record.token, times=2) == Forward(record, record.token)
-    assert router.handle(make_data_packet(record.token), SETTLED + 0.6) == Reset(
+    assert router.handle(make_data_packet(record.token), NOW_S + 0.6) == Reset(
         500, "server-silent"
     )
 
@@ -264,15 +262,15 @@
 def test_a_server_that_answers_another_caller_has_not_lost_the_flow():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
-    router.handle(make_data_packet(record.token), SETTLED)
-    router.handle(make_data_packet(record.token, caller=2), SETTLED + 0.1)
+    router.handle(make_data_packet(record.token), NOW_S)
+    router.handle(make_data_packet(record.token, caller=2), NOW_S + 0.1)
     router.handle(
         make_data_packet(record.token, caller=2, acknowledged=900, length=0),
-        SETTLED + 0.2,
+        NOW_S + 0.2,
     )
-    router.handle(make_data_packet(record.token), SETTLED + 0.3)
+    router.handle(make_data_packet(record.token), NOW_S + 0.3)
     assert isinstance(
-        router.handle(make_data_packet(record.token), SETTLED + 0.6), Forward
+        router.handle(make_data_packet(record.token), NOW_S + 0.6), Forward
     )
 
 
@@ -287,10 +285,10 @@
     router = make_router(record)
     retransmit(router, record.token, times=2)
     router.handle(
-        make_data_packet(record.token, acknowledged=900, length=0), SETTLED + 0.4
+        make_data_packet(record.token, acknowledged=900, length=0), NOW_S + 0.4
     )
     assert isinstance(
-        router.handle(make_data_packet(record.token), SETTLED + 0.7), Forward
+        router.handle(make_data_packet(record.token), NOW_S + 0.7), Forward
     )
 
 
@@ -298,9 +296,9 @@
     record = make_server_record("i-1")
     router = make_router(record)
     router.load.local_load_at(record.token).active_requests = 8
-    assert router.handle(make_syn(), SETTLED) == Wait("no-slot")
+    assert router.handle(make_syn(), NOW_S) == Wait("no-slot")
     router.load.local_load_at(record.token).active_requests = 7
-    assert isinstance(router.handle(make_syn(), SETTLED), Forward)
+    assert isinstance(router.handle(make_syn(), NOW_S), Forward)
 
 
 HEADS = st.builds(
@@ -320,7 +318,7 @@
 @given(st.lists(HEADS, max_size=30))
 def test_whatever_comes_work_is_never_counted_below_zero(heads):
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    now = SETTLED
+    now = NOW_S
     for head in heads:
         now += 0.1
         decision = router.handle(head, now)
@@ -356,19 +354,19 @@
     router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
     head = make_syn()
     question = PlaceQuestion("e1", head.flow, "entries", (), False)
-    assert router.handle(head, SETTLED) == Ask(placer, question)
+    assert router.handle(head, NOW_S) == Ask(placer, question)
 
 
 def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router, placer = make_router_with_other_coordinator(first, second)
     head = make_syn()
-    router.handle(head, SETTLED)
-    router.waiting.put(head, b"one", SETTLED)
+    router.handle(head, NOW_S)
+    router.waiting.put(head, b"one", NOW_S)
     for token in (first.token, second.token):
         answer = PlaceAnswer(placer, head.flow, token, False, 9)
-        held = router.take_answer(answer, SETTLED)
-        assert router.place_as(held.head, answer, SETTLED).token == token
+        held = router.take_answer(answer, NOW_S)
+        assert router.place_as(held.head, answer, NOW_S).token == token
     assert router.outgoing_reports[placer].used_reservation == 9
 
 
@@ -380,26 +378,26 @@
     )
     for token in (leaving.token, other.token, 77, 0):
         answer = PlaceAnswer(placer, make_syn().flow, token, False, 1)
-        decision = router.place_as(make_syn(), answer, SETTLED)
+        decision = router.place_as(make_syn(), answer, NOW_S)
         assert decision.server == make_server_record("i-1")
 
 
 def test_an_opening_waits_while_every_server_is_full():
     router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
     head = make_syn()
-    router.handle(head, SETTLED)
-    router.waiting.put(head, b"one", SETTLED)
+    router.handle(head, NOW_S)
+    router.waiting.put(head, b"one", NOW_S)
     full = PlaceAnswer(placer, head.flow, make_server_record("i-1").token, True, 0)
-    assert router.take_answer(full, SETTLED) is None
-    assert isinstance(router.handle(head, SETTLED + 0.05), Ask)
+    assert router.take_answer(full, NOW_S) is None
+    assert isinstance(router.handle(head, NOW_S + 0.05), Ask)
 
 
 def test_a_flow_is_placed_here_when_no_answer_comes():
     router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
-    router.handle(make_syn(), SETTLED)
-    assert router.handle(make_syn(), SETTLED + 0.02) == Wait("asked")
-    assert isinstance(router.handle(make_syn(), SETTLED + 0.05), Forward)
-    assert isinstance(router.handle(make_syn(2), SETTLED + 0.06), Forward)
+    router.handle(make_syn(), NOW_S)
+    assert router.handle(make_syn(), NOW_S + 0.02) == Wait("asked")
+    assert isinstance(router.handle(make_syn(), NOW_S + 0.05), Forward)
+    assert isinstance(router.handle(make_syn(2), NOW_S + 0.06), Forward)
 
 
 def test_a_flow_is_chosen_for_another_vm_by_all_work_in_the_zone():
@@ -409,7 +407,7 @@
     for caller in range(2):
         flow = make_flow_key(caller, ROUTE_ADDRESS)
         question = PlaceQuestion("e2", flow, "entries", (), False)
-        chosen.add(router.place_for(question, SETTLED).token)
+        chosen.add(router.place_for(question, NOW_S).token)
     assert chosen == {first.token, second.token}
 
 
@@ -417,16 +415,16 @@
     question = PlaceQuestion(
         "e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False
     )
-    answer = make_router().place_for(question, SETTLED)
+    answer = make_router().place_for(question, NOW_S)
     assert (answer.token, answer.reservation) == (0, 0)
 
 
 def test_a_large_zone_tells_only_those_that_place():
     router = make_router(make_server_record("i-1"))
     router.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
-    router.handle(make_data_packet(make_server_record("i-1").token), SETTLED)
-    told = [vm for vm, _ in router.tell(SETTLED)]
-    placer = router.placers.placer("entries", SETTLED)
+    router.handle(make_data_packet(make_server_record("i-1").token), NOW_S)
+    told = [vm for vm, _ in router.tell(NOW_S)]
+    placer = router.placers.placer("entries", NOW_S)
     assert told == [placer]
     router.placers.set_peers(("e1", "e2", "e3"))
-    assert sorted(vm for vm, _ in router.tell(SETTLED + 1.0)) == ["e2", "e3"]
+    assert sorted(vm for vm, _ in router.tell(NOW_S + 1.0)) == ["e2", "e3"]
