--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -301,7 +301,7 @@
     assert isinstance(router.handle(make_syn(), NOW_S), Forward)
 
 
-HEADS = st.builds(
+HEADERS = st.builds(
     Head,
     flow=st.binary(min_size=12, max_size=12),
     route=st.sampled_from([ROUTE_ADDRESS, OTHER_ROUTE_ADDRESS]),
@@ -315,7 +315,7 @@
 )
 
 
-@given(st.lists(HEADS, max_size=30))
+@given(st.lists(HEADERS, max_size=30))
 def test_whatever_comes_work_is_never_counted_below_zero(heads):
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     now = NOW_S
