--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -316,10 +316,10 @@
 
 
 @given(st.lists(HEADERS, max_size=30))
-def test_whatever_comes_work_is_never_counted_below_zero(heads):
+def test_whatever_comes_work_is_never_counted_below_zero(headers):
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     now = NOW_S
-    for head in heads:
+    for head in headers:
         now += 0.1
         decision = router.handle(head, now)
         if isinstance(decision, Forward):
