--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -82,9 +82,9 @@
 def test_held_packets_are_released_when_their_server_is_known():
     record = make_server_record("i-3")
     router = make_router(make_server_record("i-1"))
-    head = make_data_packet(record.token)
-    assert router.held.put(head, b"one", NOW_S) is True
-    assert router.held.put(head, b"two", NOW_S) is False
+    header = make_data_packet(record.token)
+    assert router.held.put(header, b"one", NOW_S) is True
+    assert router.held.put(header, b"two", NOW_S) is False
     released = router.learn(record, NOW_S + 0.1)
     assert [held.data for held in released] == [b"one", b"two"]
     assert router.held.count == 0
@@ -319,9 +319,9 @@
 def test_whatever_comes_work_is_never_counted_below_zero(headers):
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     now = NOW_S
-    for head in headers:
+    for header in headers:
         now += 0.1
-        decision = router.handle(head, now)
+        decision = router.handle(header, now)
         if isinstance(decision, Forward):
             assert decision.server.report.service == "entries"
     for work in router.load.local_loads.values():
@@ -352,19 +352,19 @@
 
 def test_another_vm_is_asked_for_the_server_of_a_flow():
     router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
-    head = make_syn()
-    question = PlaceQuestion("e1", head.flow, "entries", (), False)
-    assert router.handle(head, NOW_S) == Ask(placer, question)
+    header = make_syn()
+    question = PlaceQuestion("e1", header.flow, "entries", (), False)
+    assert router.handle(header, NOW_S) == Ask(placer, question)
 
 
 def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router, placer = make_router_with_other_coordinator(first, second)
-    head = make_syn()
-    router.handle(head, NOW_S)
-    router.waiting.put(head, b"one", NOW_S)
+    header = make_syn()
+    router.handle(header, NOW_S)
+    router.waiting.put(header, b"one", NOW_S)
     for token in (first.token, second.token):
-        answer = PlaceAnswer(placer, head.flow, token, False, 9)
+        answer = PlaceAnswer(placer, header.flow, token, False, 9)
         held = router.take_answer(answer, NOW_S)
         assert router.place_as(held.head, answer, NOW_S).token == token
     assert router.outgoing_reports[placer].used_reservation == 9
@@ -384,12 +384,12 @@
 
 def test_an_opening_waits_while_every_server_is_full():
     router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
-    head = make_syn()
-    router.handle(head, NOW_S)
-    router.waiting.put(head, b"one", NOW_S)
-    full = PlaceAnswer(placer, head.flow, make_server_record("i-1").token, True, 0)
+    header = make_syn()
+    router.handle(header, NOW_S)
+    router.waiting.put(header, b"one", NOW_S)
+    full = PlaceAnswer(placer, header.flow, make_server_record("i-1").token, True, 0)
     assert router.take_answer(full, NOW_S) is None
-    assert isinstance(router.handle(head, NOW_S + 0.05), Ask)
+    assert isinstance(router.handle(header, NOW_S + 0.05), Ask)
 
 
 def test_a_flow_is_placed_here_when_no_answer_comes():
