--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -118,13 +118,13 @@
 
 
 def test_a_leaving_server_gets_no_new_flow_and_keeps_its_open_ones():
-    leaving = make_server_record("i-1", phase=Phase.DRAINING, number=2)
+    draining = make_server_record("i-1", phase=Phase.DRAINING, number=2)
     staying = make_server_record("i-2")
-    router = make_router(leaving, staying)
+    router = make_router(draining, staying)
     for caller in range(6):
         decision = router.handle(make_syn(caller), NOW_S)
         assert decision.server == staying
-    assert router.handle(make_data_packet(leaving.token), NOW_S).server == leaving
+    assert router.handle(make_data_packet(draining.token), NOW_S).server == draining
 
 
 def test_flows_of_an_ended_server_are_reset_after_a_moment():
@@ -371,12 +371,12 @@
 
 
 def test_a_chosen_server_that_is_not_known_or_leaves_is_not_taken():
-    leaving = make_server_record("i-2", number=2, phase=Phase.DRAINING)
+    draining = make_server_record("i-2", number=2, phase=Phase.DRAINING)
     other = make_server_record("i-3", service="pagesetter")
     router, placer = make_router_with_other_coordinator(
-        make_server_record("i-1"), leaving, other
+        make_server_record("i-1"), draining, other
     )
-    for token in (leaving.token, other.token, 77, 0):
+    for token in (draining.token, other.token, 77, 0):
         answer = PlaceAnswer(placer, make_syn().flow, token, False, 1)
         decision = router.place_as(make_syn(), answer, NOW_S)
         assert decision.server == make_server_record("i-1")
