--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -119,11 +119,11 @@
 
 def test_a_leaving_server_gets_no_new_flow_and_keeps_its_open_ones():
     draining = make_server_record("i-1", phase=Phase.DRAINING, number=2)
-    staying = make_server_record("i-2")
-    router = make_router(draining, staying)
+    ready = make_server_record("i-2")
+    router = make_router(draining, ready)
     for caller in range(6):
         decision = router.handle(make_syn(caller), NOW_S)
-        assert decision.server == staying
+        assert decision.server == ready
     assert router.handle(make_data_packet(draining.token), NOW_S).server == draining
 
 
