--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -129,9 +129,9 @@
 
 def test_flows_of_an_ended_server_are_reset_after_a_moment():
     router = make_router(make_server_record("i-1"))
-    over = make_server_record("i-1", number=2, phase=Phase.ENDED)
-    router.learn(over, NOW_S)
-    token = over.token
+    ended = make_server_record("i-1", number=2, phase=Phase.ENDED)
+    router.learn(ended, NOW_S)
+    token = ended.token
     assert isinstance(router.handle(make_data_packet(token), NOW_S + 0.5), Forward)
     assert router.handle(
         make_data_packet(token, acknowledged=640), NOW_S + 1.1
