Rename before to previous

The previous lifetime. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_flows_of_a_start_before_are_reset_when_the_name_comes_back before previous

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -139,11 +139,14 @@
 
 
 def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
-    before, after = make_server_record("i-1", born=1), make_server_record("i-1", born=2)
-    router = make_router(before)
+    previous, after = (
+        make_server_record("i-1", born=1),
+        make_server_record("i-1", born=2),
+    )
+    router = make_router(previous)
     router.learn(after, NOW_S)
     later = NOW_S + 1.1
-    assert isinstance(router.handle(make_data_packet(before.token), later), Reset)
+    assert isinstance(router.handle(make_data_packet(previous.token), later), Reset)
     assert router.handle(make_data_packet(after.token), later).server == after
 
 
