--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -20,10 +20,10 @@
 
 
 def make_server_record(
-    name="i-1", born=1, number=1, service="entries", zone="a", **other
+    name="i-1", born_ms=1, number=1, service="entries", zone="a", **other
 ):
     place = Endpoint("10.0.0.9", int(name[2:]))
-    lifetime = Lifetime(name, born)
+    lifetime = Lifetime(name, born_ms)
     report = Report(lifetime, number, service, place, zone, "v1", 2, Phase.READY, 0.0)
     return ServerRecord(report._replace(**other), "c1")
 
@@ -140,8 +140,8 @@
 
 def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
     previous, current = (
-        make_server_record("i-1", born=1),
-        make_server_record("i-1", born=2),
+        make_server_record("i-1", born_ms=1),
+        make_server_record("i-1", born_ms=2),
     )
     router = make_router(previous)
     router.learn(current, NOW_S)
