Rename other to changes

Changes to the report. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py make_server_record other changes

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -20,12 +20,12 @@
 
 
 def make_server_record(
-    name="i-1", born_ms=1, number=1, service="entries", zone="a", **other
+    name="i-1", born_ms=1, number=1, service="entries", zone="a", **changes
 ):
     place = Endpoint("10.0.0.9", int(name[2:]))
     lifetime = Lifetime(name, born_ms)
     report = Report(lifetime, number, service, place, zone, "v1", 2, Phase.READY, 0.0)
-    return ServerRecord(report._replace(**other), "c1")
+    return ServerRecord(report._replace(**changes), "c1")
 
 
 def make_route_set(number=1, **services):
