Rename place to endpoint

Holds an endpoint. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py make_server_record place endpoint

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -22,9 +22,11 @@
 def make_server_record(
     name="i-1", born_ms=1, number=1, service="entries", zone="a", **changes
 ):
-    place = Endpoint("10.0.0.9", int(name[2:]))
+    endpoint = Endpoint("10.0.0.9", int(name[2:]))
     lifetime = Lifetime(name, born_ms)
-    report = Report(lifetime, number, service, place, zone, "v1", 2, Phase.READY, 0.0)
+    report = Report(
+        lifetime, number, service, endpoint, zone, "v1", 2, Phase.READY, 0.0
+    )
     return ServerRecord(report._replace(**changes), "c1")
 
 
