Rename found to addresses

Addresses by service. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py make_route_set found addresses

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -31,11 +31,11 @@
 
 
 def make_route_set(number=1, **services):
-    found = services or {"entries": ROUTE_ADDRESS}
+    addresses = services or {"entries": ROUTE_ADDRESS}
     table = tuple(
-        Route(name, address, (Share(name, 1),)) for name, address in found.items()
+        Route(name, address, (Share(name, 1),)) for name, address in addresses.items()
     )
-    return RouteSet(number, table, frozenset(found), 15.0)
+    return RouteSet(number, table, frozenset(addresses), 15.0)
 
 
 def make_flow_key(caller, route):
