--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -32,10 +32,10 @@
 
 def make_route_set(number=1, **services):
     addresses = services or {"entries": ROUTE_ADDRESS}
-    table = tuple(
+    routes = tuple(
         Route(name, address, (Share(name, 1),)) for name, address in addresses.items()
     )
-    return RouteSet(number, table, frozenset(addresses), 15.0)
+    return RouteSet(number, routes, frozenset(addresses), 15.0)
 
 
 def make_flow_key(caller, route):
