--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -56,8 +56,8 @@
 def make_router(*servers, now=0.0, number=1):
     router = TokenRouter(TokenSettings("e1", "a"), Random(1), now)
     router.install(make_route_set(number), now)
-    for one in servers:
-        router.learn(one, now)
+    for record in servers:
+        router.learn(record, now)
     return router
 
 
