Rename one to first_choice

The server selected first.

Rename: test_router.py test_a_copy_of_an_opening_packet_goes_to_another_server one first_choice

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -177,9 +177,9 @@
 def test_a_copy_of_an_opening_packet_goes_to_another_server():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
-    one = router.handle(make_syn(), NOW_S).server
+    first_choice = router.handle(make_syn(), NOW_S).server
     two = router.handle(make_syn(copy=1), NOW_S + 0.2).server
-    assert {one, two} == {first, second}
+    assert {first_choice, two} == {first, second}
 
 
 def test_the_same_opening_packet_twice_goes_to_the_same_server():
