Rename two to second_choice

The server selected second. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_a_copy_of_an_opening_packet_goes_to_another_server two second_choice

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -178,8 +178,8 @@
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
     first_choice = router.handle(make_syn(), NOW_S).server
-    two = router.handle(make_syn(copy=1), NOW_S + 0.2).server
-    assert {first_choice, two} == {first, second}
+    second_choice = router.handle(make_syn(copy=1), NOW_S + 0.2).server
+    assert {first_choice, second_choice} == {first, second}
 
 
 def test_the_same_opening_packet_twice_goes_to_the_same_server():
