Rename one to first_decision

The first decision. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_the_same_opening_packet_twice_goes_to_the_same_server+test_a_copy_that_comes_right_behind_says_nothing_about_the_server+test_a_caller_that_goes_on_stays_with_the_server_it_answered_first one first_decision

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -184,15 +184,15 @@
 
 def test_the_same_opening_packet_twice_goes_to_the_same_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    one = router.handle(make_syn(), NOW_S)
-    assert router.handle(make_syn(), NOW_S + 0.01) == one
+    first_decision = router.handle(make_syn(), NOW_S)
+    assert router.handle(make_syn(), NOW_S + 0.01) == first_decision
 
 
 def test_a_copy_that_comes_right_behind_says_nothing_about_the_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    one = router.handle(make_syn(), NOW_S)
-    assert router.handle(make_syn(copy=1), NOW_S + 0.05) == one
-    assert router.load.local_loads[one.token].unanswered_syns == 0
+    first_decision = router.handle(make_syn(), NOW_S)
+    assert router.handle(make_syn(copy=1), NOW_S + 0.05) == first_decision
+    assert router.load.local_loads[first_decision.token].unanswered_syns == 0
 
 
 def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
@@ -207,11 +207,14 @@
 
 def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    one = router.handle(make_syn(), NOW_S)
+    first_decision = router.handle(make_syn(), NOW_S)
     two = router.handle(make_syn(copy=1), NOW_S + 0.2)
-    assert router.handle(make_data_packet(one.token), NOW_S + 0.3).server == one.server
+    assert (
+        router.handle(make_data_packet(first_decision.token), NOW_S + 0.3).server
+        == first_decision.server
+    )
     late = router.handle(make_data_packet(two.token, sequence=110), NOW_S + 0.4)
-    assert late == Forward(one.server, one.token)
+    assert late == Forward(first_decision.server, first_decision.token)
 
 
 def test_servers_whose_tokens_clash_get_no_new_flow(monkeypatch):
