Rename two to second_decision

The second decision. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_a_caller_that_goes_on_stays_with_the_server_it_answered_first two second_decision

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -208,12 +208,14 @@
 def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     first_decision = router.handle(make_syn(), NOW_S)
-    two = router.handle(make_syn(copy=1), NOW_S + 0.2)
+    second_decision = router.handle(make_syn(copy=1), NOW_S + 0.2)
     assert (
         router.handle(make_data_packet(first_decision.token), NOW_S + 0.3).server
         == first_decision.server
     )
-    late = router.handle(make_data_packet(two.token, sequence=110), NOW_S + 0.4)
+    late = router.handle(
+        make_data_packet(second_decision.token, sequence=110), NOW_S + 0.4
+    )
     assert late == Forward(first_decision.server, first_decision.token)
 
 
