Rename late to late_decision

The decision for a late packet. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_a_caller_that_goes_on_stays_with_the_server_it_answered_first late late_decision

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -213,10 +213,10 @@
         router.handle(make_data_packet(first_decision.token), NOW_S + 0.3).server
         == first_decision.server
     )
-    late = router.handle(
+    late_decision = router.handle(
         make_data_packet(second_decision.token, sequence=110), NOW_S + 0.4
     )
-    assert late == Forward(first_decision.server, first_decision.token)
+    assert late_decision == Forward(first_decision.server, first_decision.token)
 
 
 def test_servers_whose_tokens_clash_get_no_new_flow(monkeypatch):
