Rename one to entry

Holds a directory entry. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_servers_whose_tokens_clash_get_no_new_flow one entry

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -225,8 +225,8 @@
     router.learn(make_server_record("i-2"), 0.0)
     router.learn(make_server_record("i-3"), 0.0)
     router.directory.by_service["entries"] = {
-        token: one
-        for token, one in router.directory.by_service["entries"].items()
+        token: entry
+        for token, entry in router.directory.by_service["entries"].items()
         if token == 5
     }
     assert router.directory.colliding_tokens == {5}
