--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -196,12 +196,12 @@
 
 
 def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
-    unresponsive, alive = make_server_record("i-1"), make_server_record("i-2")
-    router = make_router(unresponsive, alive)
-    router.load.local_load_at(alive.token).active_requests = 1
+    unresponsive, responsive = make_server_record("i-1"), make_server_record("i-2")
+    router = make_router(unresponsive, responsive)
+    router.load.local_load_at(responsive.token).active_requests = 1
     assert router.handle(make_syn(1), NOW_S).server == unresponsive
     router.handle(make_syn(1, copy=1), NOW_S + 0.2)
-    assert router.handle(make_syn(2), NOW_S + 0.3).server == alive
+    assert router.handle(make_syn(2), NOW_S + 0.3).server == responsive
     assert router.handle(make_syn(3), NOW_S + 0.9).server == unresponsive
 
 
