--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -354,56 +354,58 @@
     router = make_router(*servers)
     for peers in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
         router.placers.set_peers(peers)
-        placer = router.placers.placer("entries", 0.0)
-        if placer != "e1":
-            return router, placer
+        coordinator = router.placers.placer("entries", 0.0)
+        if coordinator != "e1":
+            return router, coordinator
     raise AssertionError("this VM is the placement coordinator in every zone")
 
 
 def test_another_vm_is_asked_for_the_server_of_a_flow():
-    router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
+    router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
     question = PlaceQuestion("e1", header.flow, "entries", (), False)
-    assert router.handle(header, NOW_S) == Ask(placer, question)
+    assert router.handle(header, NOW_S) == Ask(coordinator, question)
 
 
 def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
     first, second = make_server_record("i-1"), make_server_record("i-2")
-    router, placer = make_router_with_other_coordinator(first, second)
+    router, coordinator = make_router_with_other_coordinator(first, second)
     header = make_syn()
     router.handle(header, NOW_S)
     router.waiting.put(header, b"one", NOW_S)
     for token in (first.token, second.token):
-        answer = PlaceAnswer(placer, header.flow, token, False, 9)
+        answer = PlaceAnswer(coordinator, header.flow, token, False, 9)
         held = router.take_answer(answer, NOW_S)
         assert router.place_as(held.head, answer, NOW_S).token == token
-    assert router.outgoing_reports[placer].used_reservation == 9
+    assert router.outgoing_reports[coordinator].used_reservation == 9
 
 
 def test_a_chosen_server_that_is_not_known_or_leaves_is_not_taken():
     draining = make_server_record("i-2", number=2, phase=Phase.DRAINING)
     other = make_server_record("i-3", service="pagesetter")
-    router, placer = make_router_with_other_coordinator(
+    router, coordinator = make_router_with_other_coordinator(
         make_server_record("i-1"), draining, other
     )
     for token in (draining.token, other.token, 77, 0):
-        answer = PlaceAnswer(placer, make_syn().flow, token, False, 1)
+        answer = PlaceAnswer(coordinator, make_syn().flow, token, False, 1)
         decision = router.place_as(make_syn(), answer, NOW_S)
         assert decision.server == make_server_record("i-1")
 
 
 def test_an_opening_waits_while_every_server_is_full():
-    router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
+    router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
     router.handle(header, NOW_S)
     router.waiting.put(header, b"one", NOW_S)
-    full = PlaceAnswer(placer, header.flow, make_server_record("i-1").token, True, 0)
+    full = PlaceAnswer(
+        coordinator, header.flow, make_server_record("i-1").token, True, 0
+    )
     assert router.take_answer(full, NOW_S) is None
     assert isinstance(router.handle(header, NOW_S + 0.05), Ask)
 
 
 def test_a_flow_is_placed_here_when_no_answer_comes():
-    router, placer = make_router_with_other_coordinator(make_server_record("i-1"))
+    router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     router.handle(make_syn(), NOW_S)
     assert router.handle(make_syn(), NOW_S + 0.02) == Wait("asked")
     assert isinstance(router.handle(make_syn(), NOW_S + 0.05), Forward)
@@ -434,7 +436,7 @@
     router.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
     router.handle(make_data_packet(make_server_record("i-1").token), NOW_S)
     told = [vm for vm, _ in router.tell(NOW_S)]
-    placer = router.placers.placer("entries", NOW_S)
-    assert told == [placer]
+    coordinator = router.placers.placer("entries", NOW_S)
+    assert told == [coordinator]
     router.placers.set_peers(("e1", "e2", "e3"))
     assert sorted(vm for vm, _ in router.tell(NOW_S + 1.0)) == ["e2", "e3"]
