--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -415,12 +415,12 @@
 def test_a_flow_is_chosen_for_another_vm_by_all_work_in_the_zone():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
-    chosen = set()
+    selected_tokens = set()
     for caller in range(2):
         flow = make_flow_key(caller, ROUTE_ADDRESS)
         question = PlaceQuestion("e2", flow, "entries", (), False)
-        chosen.add(router.place_for(question, NOW_S).token)
-    assert chosen == {first.token, second.token}
+        selected_tokens.add(router.place_for(question, NOW_S).token)
+    assert selected_tokens == {first.token, second.token}
 
 
 def test_no_server_is_named_where_there_is_none():
