--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -435,8 +435,8 @@
     router = make_router(make_server_record("i-1"))
     router.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
     router.handle(make_data_packet(make_server_record("i-1").token), NOW_S)
-    told = [vm for vm, _ in router.tell(NOW_S)]
+    receivers = [vm for vm, _ in router.tell(NOW_S)]
     coordinator = router.placers.placer("entries", NOW_S)
-    assert told == [coordinator]
+    assert receivers == [coordinator]
     router.placers.set_peers(("e1", "e2", "e3"))
     assert sorted(vm for vm, _ in router.tell(NOW_S + 1.0)) == ["e2", "e3"]
