Rename found to services

Services of the flows. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_a_route_shares_new_flows_by_weight found services

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -344,9 +344,9 @@
     shares = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
     route = Route("r", ROUTE_ADDRESS, shares)
     flows = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
-    found = [route.select_service(flow) for flow in flows]
+    services = [route.select_service(flow) for flow in flows]
     expected = weights[0] / sum(weights)
-    assert abs(found.count("entries") / len(found) - expected) < 0.03
+    assert abs(services.count("entries") / len(services) - expected) < 0.03
 
 
 def make_router_with_other_coordinator(*servers):
