Rename shares to weighted_services

Services with weights. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_a_route_shares_new_flows_by_weight shares weighted_services

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -341,8 +341,8 @@
 
 @pytest.mark.parametrize("weights", [(1, 0), (0, 1), (3, 1)])
 def test_a_route_shares_new_flows_by_weight(weights):
-    shares = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
-    route = Route("r", ROUTE_ADDRESS, shares)
+    weighted_services = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
+    route = Route("r", ROUTE_ADDRESS, weighted_services)
     flows = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
     services = [route.select_service(flow) for flow in flows]
     expected = weights[0] / sum(weights)
