Rename expected to expected_share

The expected share of flows. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * expected expected_share

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -345,8 +345,8 @@
     route = Route("r", ROUTE_ADDRESS, weighted_services)
     flows = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
     services = [route.select_service(flow) for flow in flows]
-    expected = weights[0] / sum(weights)
-    assert abs(services.count("entries") / len(services) - expected) < 0.03
+    expected_share = weights[0] / sum(weights)
+    assert abs(services.count("entries") / len(services) - expected_share) < 0.03
 
 
 def make_router_with_other_coordinator(*servers):
