Rename full to full_answer

The answer that every server is full. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * full full_answer

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -397,10 +397,10 @@
     header = make_syn()
     router.handle(header, NOW_S)
     router.waiting.put(header, b"one", NOW_S)
-    full = PlaceAnswer(
+    full_answer = PlaceAnswer(
         coordinator, header.flow, make_server_record("i-1").token, True, 0
     )
-    assert router.take_answer(full, NOW_S) is None
+    assert router.take_answer(full_answer, NOW_S) is None
     assert isinstance(router.handle(header, NOW_S + 0.05), Ask)
 
 
