--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -363,8 +363,8 @@
 def test_another_vm_is_asked_for_the_server_of_a_flow():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
-    question = PlaceQuestion("e1", header.flow, "entries", (), False)
-    assert router.handle(header, NOW_S) == Ask(coordinator, question)
+    request = PlaceQuestion("e1", header.flow, "entries", (), False)
+    assert router.handle(header, NOW_S) == Ask(coordinator, request)
 
 
 def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
@@ -418,16 +418,14 @@
     selected_tokens = set()
     for caller in range(2):
         flow = make_flow_key(caller, ROUTE_ADDRESS)
-        question = PlaceQuestion("e2", flow, "entries", (), False)
-        selected_tokens.add(router.place_for(question, NOW_S).token)
+        request = PlaceQuestion("e2", flow, "entries", (), False)
+        selected_tokens.add(router.place_for(request, NOW_S).token)
     assert selected_tokens == {first.token, second.token}
 
 
 def test_no_server_is_named_where_there_is_none():
-    question = PlaceQuestion(
-        "e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False
-    )
-    answer = make_router().place_for(question, NOW_S)
+    request = PlaceQuestion("e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False)
+    answer = make_router().place_for(request, NOW_S)
     assert (answer.token, answer.reservation) == (0, 0)
 
 
