--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -88,7 +88,7 @@
     assert router.held.put(header, b"one", NOW_S) is True
     assert router.held.put(header, b"two", NOW_S) is False
     released = router.learn(record, NOW_S + 0.1)
-    assert [held.data for held in released] == [b"one", b"two"]
+    assert [packet.data for packet in released] == [b"one", b"two"]
     assert router.held.count == 0
 
 
@@ -375,8 +375,8 @@
     router.waiting.put(header, b"one", NOW_S)
     for token in (first.token, second.token):
         answer = PlaceAnswer(coordinator, header.flow, token, False, 9)
-        held = router.take_answer(answer, NOW_S)
-        assert router.place_as(held.head, answer, NOW_S).token == token
+        packet = router.take_answer(answer, NOW_S)
+        assert router.place_as(packet.head, answer, NOW_S).token == token
     assert router.outgoing_reports[coordinator].used_reservation == 9
 
 
