--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -334,9 +334,9 @@
         decision = router.handle(header, now)
         if isinstance(decision, Forward):
             assert decision.server.report.service == "entries"
-    for work in router.load.local_loads.values():
-        assert work.active_requests >= 0
-        assert work.open_flows >= 0
+    for load in router.load.local_loads.values():
+        assert load.active_requests >= 0
+        assert load.open_flows >= 0
 
 
 @pytest.mark.parametrize("weights", [(1, 0), (0, 1), (3, 1)])
