Rename test_an_opening_packet_goes_to_a_server_of_the_routes_service to test_syn_goes_to_a_server_of_the_routes_service

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -61,7 +61,7 @@
     return router
 
 
-def test_an_opening_packet_goes_to_a_server_of_the_routes_service():
+def test_syn_goes_to_a_server_of_the_routes_service():
     record = make_server_record("i-1")
     router = make_router(record, make_server_record("i-2", service="pagesetter"))
     assert router.handle(make_syn(), NOW_S) == Forward(record, record.token)
