Rename test_later_packets_follow_their_token_without_any_record to test_data_packet_is_routed_by_its_token_without_flow_state

Usual terms for what the test checks.

Rename: test_router.py * test_later_packets_follow_their_token_without_any_record test_data_packet_is_routed_by_its_token_without_flow_state

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -67,7 +67,7 @@
     assert router.handle(make_syn(), NOW_S) == Forward(record, record.token)
 
 
-def test_later_packets_follow_their_token_without_any_record():
+def test_data_packet_is_routed_by_its_token_without_flow_state():
     record = make_server_record("i-1")
     router = make_router(record, make_server_record("i-2"))
     assert router.handle(make_data_packet(record.token), NOW_S) == Forward(
