--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -75,7 +75,7 @@
     )
 
 
-def test_an_unknown_token_is_asked_for_and_never_guessed():
+def test_packet_with_an_unknown_token_is_not_forwarded():
     router = make_router(make_server_record("i-1"))
     assert router.handle(make_data_packet(77), NOW_S) == Hold(77)
     assert router.handle(make_data_packet(0), NOW_S) == Drop("no-token")
