Rename test_held_packets_are_released_when_their_server_is_known to test_buffered_packets_are_returned_when_their_server_becomes_known

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_held_packets_are_released_when_their_server_is_known test_buffered_packets_are_returned_when_their_server_becomes_known

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -81,7 +81,7 @@
     assert router.handle(make_data_packet(0), NOW_S) == Drop("no-token")
 
 
-def test_held_packets_are_released_when_their_server_is_known():
+def test_buffered_packets_are_returned_when_their_server_becomes_known():
     record = make_server_record("i-3")
     router = make_router(make_server_record("i-1"))
     header = make_data_packet(record.token)
