Rename test_held_packets_are_dropped_after_a_while to test_buffered_packets_expire

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_held_packets_are_dropped_after_a_while test_buffered_packets_expire

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -92,7 +92,7 @@
     assert router.held.count == 0
 
 
-def test_held_packets_are_dropped_after_a_while():
+def test_buffered_packets_expire():
     router = make_router()
     router.held.put(make_data_packet(77), b"one", NOW_S)
     router.sweep(NOW_S + 1.4)
