Rename test_a_route_that_never_was_is_refused_at_once to test_syn_to_an_unknown_route_is_reset

Usual terms for what the test checks.

Rename: test_router.py * test_a_route_that_never_was_is_refused_at_once test_syn_to_an_unknown_route_is_reset

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -101,7 +101,7 @@
     assert router.held.count == 0
 
 
-def test_a_route_that_never_was_is_refused_at_once():
+def test_syn_to_an_unknown_route_is_reset():
     router = make_router(make_server_record("i-1"))
     assert router.handle(make_syn(route=OTHER_ROUTE_ADDRESS), NOW_S) == Reset(
         0, "no-route"
