Rename test_openings_wait_until_a_document_is_there to test_syn_waits_until_a_document_is_installed

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_openings_wait_until_a_document_is_there test_syn_waits_until_a_document_is_installed

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -108,7 +108,7 @@
     )
 
 
-def test_openings_wait_until_a_document_is_there():
+def test_syn_waits_until_a_document_is_installed():
     router = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
     assert router.handle(make_syn(), NOW_S) == Wait("no-document")
 
