Rename test_openings_wait_for_a_first_server_and_are_refused_when_none_comes to test_syn_waits_for_a_first_server_and_is_reset_after_the_timeout

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_openings_wait_for_a_first_server_and_are_refused_when_none_comes test_syn_waits_for_a_first_server_and_is_reset_after_the_timeout

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -113,7 +113,7 @@
     assert router.handle(make_syn(), NOW_S) == Wait("no-document")
 
 
-def test_openings_wait_for_a_first_server_and_are_refused_when_none_comes():
+def test_syn_waits_for_a_first_server_and_is_reset_after_the_timeout():
     router = make_router(now=0.0)
     assert router.handle(make_syn(), 4.0) == Wait("no-server-yet")
     assert router.handle(make_syn(), 6.0) == Reset(0, "no-server")
