--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -119,7 +119,7 @@
     assert router.handle(make_syn(), 6.0) == Reset(0, "no-server")
 
 
-def test_a_leaving_server_gets_no_new_flow_and_keeps_its_open_ones():
+def test_draining_server_keeps_open_flows_but_gets_no_new_flow():
     draining = make_server_record("i-1", phase=Phase.DRAINING, number=2)
     ready = make_server_record("i-2")
     router = make_router(draining, ready)
