Rename test_flows_of_an_ended_server_are_reset_after_a_moment to test_flows_of_an_ended_server_are_reset_after_the_grace_period

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_flows_of_an_ended_server_are_reset_after_a_moment test_flows_of_an_ended_server_are_reset_after_the_grace_period

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -129,7 +129,7 @@
     assert router.handle(make_data_packet(draining.token), NOW_S).server == draining
 
 
-def test_flows_of_an_ended_server_are_reset_after_a_moment():
+def test_flows_of_an_ended_server_are_reset_after_the_grace_period():
     router = make_router(make_server_record("i-1"))
     ended = make_server_record("i-1", number=2, phase=Phase.ENDED)
     router.learn(ended, NOW_S)
