Rename test_flows_of_a_start_before_are_reset_when_the_name_comes_back to test_flows_of_the_previous_lifetime_are_reset_after_a_server_restart

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_flows_of_a_start_before_are_reset_when_the_name_comes_back test_flows_of_the_previous_lifetime_are_reset_after_a_server_restart

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -140,7 +140,7 @@
     ) == Reset(640, "server-ended")
 
 
-def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
+def test_flows_of_the_previous_lifetime_are_reset_after_a_server_restart():
     previous, current = (
         make_server_record("i-1", born_ms=1),
         make_server_record("i-1", born_ms=2),
