Rename test_open_flows_of_a_removed_route_go_on_until_every_vm_knows to test_open_flows_of_a_removed_route_are_reset_after_the_grace_period

Usual terms for what the test checks.

Rename: test_router.py * test_open_flows_of_a_removed_route_go_on_until_every_vm_knows test_open_flows_of_a_removed_route_are_reset_after_the_grace_period

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -152,7 +152,7 @@
     assert router.handle(make_data_packet(current.token), later).server == current
 
 
-def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
+def test_open_flows_of_a_removed_route_are_reset_after_the_grace_period():
     record = make_server_record("i-1")
     router = make_router(record)
     router.install(make_route_set(2, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
