Rename test_a_document_with_a_lower_number_changes_nothing to test_document_with_a_lower_number_is_ignored

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_a_document_with_a_lower_number_changes_nothing test_document_with_a_lower_number_is_ignored

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -165,7 +165,7 @@
     )
 
 
-def test_a_document_with_a_lower_number_changes_nothing():
+def test_document_with_a_lower_number_is_ignored():
     router = make_router(make_server_record("i-1"), number=5)
     assert (
         router.install(make_route_set(4, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
