--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -174,7 +174,7 @@
     assert isinstance(router.handle(make_syn(), NOW_S), Forward)
 
 
-def test_a_copy_of_an_opening_packet_goes_to_another_server():
+def test_retransmitted_syn_goes_to_another_server():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
     first_choice = router.handle(make_syn(), NOW_S).server
