--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -182,7 +182,7 @@
     assert {first_choice, second_choice} == {first, second}
 
 
-def test_the_same_opening_packet_twice_goes_to_the_same_server():
+def test_duplicate_syn_goes_to_the_same_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     first_decision = router.handle(make_syn(), NOW_S)
     assert router.handle(make_syn(), NOW_S + 0.01) == first_decision
