Rename test_a_copy_that_comes_right_behind_says_nothing_about_the_server to test_immediate_retransmission_is_not_counted_against_the_server

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_a_copy_that_comes_right_behind_says_nothing_about_the_server test_immediate_retransmission_is_not_counted_against_the_server

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -188,7 +188,7 @@
     assert router.handle(make_syn(), NOW_S + 0.01) == first_decision
 
 
-def test_a_copy_that_comes_right_behind_says_nothing_about_the_server():
+def test_immediate_retransmission_is_not_counted_against_the_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     first_decision = router.handle(make_syn(), NOW_S)
     assert router.handle(make_syn(copy=1), NOW_S + 0.05) == first_decision
