Rename test_a_server_that_does_not_answer_is_avoided_and_tried_again_later to test_unresponsive_server_is_avoided_for_a_limited_time

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_a_server_that_does_not_answer_is_avoided_and_tried_again_later test_unresponsive_server_is_avoided_for_a_limited_time

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -195,7 +195,7 @@
     assert router.load.local_loads[first_decision.token].unanswered_syns == 0
 
 
-def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
+def test_unresponsive_server_is_avoided_for_a_limited_time():
     unresponsive, responsive = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(unresponsive, responsive)
     router.load.local_load_at(responsive.token).active_requests = 1
