Rename test_a_caller_that_goes_on_stays_with_the_server_it_answered_first to test_flow_stays_with_the_first_server_that_its_caller_answers

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_a_caller_that_goes_on_stays_with_the_server_it_answered_first test_flow_stays_with_the_first_server_that_its_caller_answers

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -205,7 +205,7 @@
     assert router.handle(make_syn(3), NOW_S + 0.9).server == unresponsive
 
 
-def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
+def test_flow_stays_with_the_first_server_that_its_caller_answers():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     first_decision = router.handle(make_syn(), NOW_S)
     second_decision = router.handle(make_syn(copy=1), NOW_S + 0.2)
