Rename test_servers_whose_tokens_clash_get_no_new_flow to test_servers_with_colliding_tokens_get_no_new_flow

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_servers_whose_tokens_clash_get_no_new_flow test_servers_with_colliding_tokens_get_no_new_flow

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -219,7 +219,7 @@
     assert late_decision == Forward(first_decision.server, first_decision.token)
 
 
-def test_servers_whose_tokens_clash_get_no_new_flow(monkeypatch):
+def test_servers_with_colliding_tokens_get_no_new_flow(monkeypatch):
     router = make_router(make_server_record("i-1"))
     monkeypatch.setattr(Lifetime, "token", property(lambda self: 5))
     router.learn(make_server_record("i-2"), 0.0)
