Rename test_a_lost_flow_is_reset_when_its_server_is_late_too to test_unanswered_flow_is_reset_if_server_reports_are_overdue

Usual terms for what the test checks.

Rename: test_router.py * test_a_lost_flow_is_reset_when_its_server_is_late_too test_unanswered_flow_is_reset_if_server_reports_are_overdue

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -240,7 +240,7 @@
     return decision
 
 
-def test_a_lost_flow_is_reset_when_its_server_is_late_too():
+def test_unanswered_flow_is_reset_if_server_reports_are_overdue():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record, make_server_record("i-2"))
     assert retransmit(router, record.token, times=2) == Forward(record, record.token)
