Rename test_a_lost_flow_is_reset_when_its_zone_is_silent to test_unanswered_flow_is_reset_if_the_zone_is_unreachable

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_a_lost_flow_is_reset_when_its_zone_is_silent test_unanswered_flow_is_reset_if_the_zone_is_unreachable

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -249,7 +249,7 @@
     )
 
 
-def test_a_lost_flow_is_reset_when_its_zone_is_silent():
+def test_unanswered_flow_is_reset_if_the_zone_is_unreachable():
     record = make_server_record("i-1", zone="b")
     router = make_router(record)
     router.load.silent_zones = frozenset({"b"})
