Rename test_a_lost_flow_is_reset_when_opening_packets_go_unanswered to test_unanswered_flow_is_reset_if_syns_are_unanswered_too

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_a_lost_flow_is_reset_when_opening_packets_go_unanswered test_unanswered_flow_is_reset_if_syns_are_unanswered_too

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -256,7 +256,7 @@
     assert isinstance(retransmit(router, record.token), Reset)
 
 
-def test_a_lost_flow_is_reset_when_opening_packets_go_unanswered():
+def test_unanswered_flow_is_reset_if_syns_are_unanswered_too():
     record = make_server_record("i-1")
     router = make_router(record)
     router.load.local_load_at(record.token).unanswered_syns = 1
