--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -263,7 +263,7 @@
     assert isinstance(retransmit(router, record.token), Reset)
 
 
-def test_a_caller_that_repeats_itself_alone_is_never_reset():
+def test_unanswered_flow_is_not_reset_without_further_evidence():
     record = make_server_record("i-1")
     router = make_router(record)
     assert isinstance(retransmit(router, record.token, times=9), Forward)
