Rename test_a_server_that_answers_another_caller_has_not_lost_the_flow to test_flow_is_not_reset_if_its_server_answers_another_caller

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -269,7 +269,7 @@
     assert isinstance(retransmit(router, record.token, times=9), Forward)
 
 
-def test_a_server_that_answers_another_caller_has_not_lost_the_flow():
+def test_flow_is_not_reset_if_its_server_answers_another_caller():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
     router.handle(make_data_packet(record.token), NOW_S)
