--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -284,7 +284,7 @@
     )
 
 
-def test_packets_that_queued_while_this_vm_stood_still_reset_nothing():
+def test_retransmissions_queued_during_a_pause_do_not_reset_the_flow():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
     assert isinstance(retransmit(router, record.token, times=9, gap_s=0.0), Forward)
