Rename test_an_answered_request_starts_the_count_anew to test_answer_restarts_the_retransmission_count

Usual terms for what the test checks.

Rename: test_router.py * test_an_answered_request_starts_the_count_anew test_answer_restarts_the_retransmission_count

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -290,7 +290,7 @@
     assert isinstance(retransmit(router, record.token, times=9, gap_s=0.0), Forward)
 
 
-def test_an_answered_request_starts_the_count_anew():
+def test_answer_restarts_the_retransmission_count():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
     retransmit(router, record.token, times=2)
