Rename test_new_flows_wait_when_every_server_has_much_work_waiting to test_syn_waits_while_every_server_queue_is_full

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_new_flows_wait_when_every_server_has_much_work_waiting test_syn_waits_while_every_server_queue_is_full

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -302,7 +302,7 @@
     )
 
 
-def test_new_flows_wait_when_every_server_has_much_work_waiting():
+def test_syn_waits_while_every_server_queue_is_full():
     record = make_server_record("i-1")
     router = make_router(record)
     router.load.local_load_at(record.token).active_requests = 8
