Rename test_whatever_comes_work_is_never_counted_below_zero to test_load_counts_are_never_negative

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_whatever_comes_work_is_never_counted_below_zero test_load_counts_are_never_negative

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -326,7 +326,7 @@
 
 
 @given(st.lists(HEADERS, max_size=30))
-def test_whatever_comes_work_is_never_counted_below_zero(headers):
+def test_load_counts_are_never_negative(headers):
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     now = NOW_S
     for header in headers:
