Rename test_a_route_shares_new_flows_by_weight to test_route_distributes_new_flows_by_weight

Usual terms for what the test checks.

Rename: test_router.py * test_a_route_shares_new_flows_by_weight test_route_distributes_new_flows_by_weight

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -340,7 +340,7 @@
 
 
 @pytest.mark.parametrize("weights", [(1, 0), (0, 1), (3, 1)])
-def test_a_route_shares_new_flows_by_weight(weights):
+def test_route_distributes_new_flows_by_weight(weights):
     weighted_services = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
     route = Route("r", ROUTE_ADDRESS, weighted_services)
     flows = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
