--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -360,7 +360,7 @@
     raise AssertionError("this VM is the placement coordinator in every zone")
 
 
-def test_another_vm_is_asked_for_the_server_of_a_flow():
+def test_syn_causes_a_placement_request_to_the_coordinator():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
     request = PlaceQuestion("e1", header.flow, "entries", (), False)
