Rename test_a_flow_opens_at_the_server_that_was_chosen_for_it to test_flow_is_placed_on_the_server_in_the_placement_answer

Usual terms for what the test checks.

Rename: test_router.py * test_a_flow_opens_at_the_server_that_was_chosen_for_it test_flow_is_placed_on_the_server_in_the_placement_answer

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -367,7 +367,7 @@
     assert router.handle(header, NOW_S) == Ask(coordinator, request)
 
 
-def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
+def test_flow_is_placed_on_the_server_in_the_placement_answer():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router, coordinator = make_router_with_other_coordinator(first, second)
     header = make_syn()
