--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -380,7 +380,7 @@
     assert router.outgoing_reports[coordinator].used_reservation == 9
 
 
-def test_a_chosen_server_that_is_not_known_or_leaves_is_not_taken():
+def test_unusable_server_in_a_placement_answer_is_replaced():
     draining = make_server_record("i-2", number=2, phase=Phase.DRAINING)
     other = make_server_record("i-3", service="pagesetter")
     router, coordinator = make_router_with_other_coordinator(
