Rename test_an_opening_waits_while_every_server_is_full to test_syn_waits_after_an_answer_that_every_server_is_full

Usual terms for what the test checks.

Rename: test_router.py * test_an_opening_waits_while_every_server_is_full test_syn_waits_after_an_answer_that_every_server_is_full

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -392,7 +392,7 @@
         assert decision.server == make_server_record("i-1")
 
 
-def test_an_opening_waits_while_every_server_is_full():
+def test_syn_waits_after_an_answer_that_every_server_is_full():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
     router.handle(header, NOW_S)
