Rename test_a_flow_is_placed_here_when_no_answer_comes to test_flow_is_placed_locally_after_a_placement_timeout

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_a_flow_is_placed_here_when_no_answer_comes test_flow_is_placed_locally_after_a_placement_timeout

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -404,7 +404,7 @@
     assert isinstance(router.handle(header, NOW_S + 0.05), Ask)
 
 
-def test_a_flow_is_placed_here_when_no_answer_comes():
+def test_flow_is_placed_locally_after_a_placement_timeout():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     router.handle(make_syn(), NOW_S)
     assert router.handle(make_syn(), NOW_S + 0.02) == Wait("asked")
