--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -412,7 +412,7 @@
     assert isinstance(router.handle(make_syn(2), NOW_S + 0.06), Forward)
 
 
-def test_a_flow_is_chosen_for_another_vm_by_all_work_in_the_zone():
+def test_coordinator_counts_its_earlier_placements_for_other_vms():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
     selected_tokens = set()
