Rename test_no_server_is_named_where_there_is_none to test_placement_answer_has_no_token_without_servers

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py * test_no_server_is_named_where_there_is_none test_placement_answer_has_no_token_without_servers

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -423,7 +423,7 @@
     assert selected_tokens == {first.token, second.token}
 
 
-def test_no_server_is_named_where_there_is_none():
+def test_placement_answer_has_no_token_without_servers():
     request = PlaceQuestion("e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False)
     answer = make_router().place_for(request, NOW_S)
     assert (answer.token, answer.reservation) == (0, 0)
