Rename test_a_large_zone_tells_only_those_that_place to test_load_is_reported_only_to_coordinators_in_a_large_zone

Usual terms for what the test checks.

Rename: test_router.py * test_a_large_zone_tells_only_those_that_place test_load_is_reported_only_to_coordinators_in_a_large_zone

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -429,7 +429,7 @@
     assert (answer.token, answer.reservation) == (0, 0)
 
 
-def test_a_large_zone_tells_only_those_that_place():
+def test_load_is_reported_only_to_coordinators_in_a_large_zone():
     router = make_router(make_server_record("i-1"))
     router.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
     router.handle(make_data_packet(make_server_record("i-1").token), NOW_S)
