--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -10,16 +10,16 @@
 
 
 @pytest.fixture
-def placers():
+def coordinators():
     made = CoordinatorSelector(TokenSettings("e1", "a"))
     made.set_peers(PEERS)
     return made
 
 
-def others_service(placers):
+def others_service(coordinators):
     """Return a service whose placement coordinator is another VM."""
     names = (f"service-{number}" for number in range(99))
-    return next(name for name in names if placers.placer(name, 0.0) != "e1")
+    return next(name for name in names if coordinators.placer(name, 0.0) != "e1")
 
 
 def test_all_vms_of_a_zone_name_the_same_placer():
@@ -36,36 +36,36 @@
     assert CoordinatorSelector(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
 
 
-def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(placers):
-    service = others_service(placers)
-    first = placers.placer(service, 0.0)
-    placers.record_request(first, FLOW, 0.0)
-    assert placers.is_pending(FLOW, 0.02)
-    assert not placers.is_pending(FLOW, 0.04)
-    assert placers.placer(service, 0.1) != first
-    assert placers.placer(service, 1.1) == first
+def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(coordinators):
+    service = others_service(coordinators)
+    first = coordinators.placer(service, 0.0)
+    coordinators.record_request(first, FLOW, 0.0)
+    assert coordinators.is_pending(FLOW, 0.02)
+    assert not coordinators.is_pending(FLOW, 0.04)
+    assert coordinators.placer(service, 0.1) != first
+    assert coordinators.placer(service, 1.1) == first
 
 
-def test_a_placer_that_goes_on_without_answers_is_left_alone_longer(placers):
-    service = others_service(placers)
-    first = placers.placer(service, 0.0)
+def test_a_placer_that_goes_on_without_answers_is_left_alone_longer(coordinators):
+    service = others_service(coordinators)
+    first = coordinators.placer(service, 0.0)
     for start in (0.0, 1.1):
-        placers.record_request(first, FLOW, start)
-        placers.is_pending(FLOW, start + 0.04)
-    assert placers.placer(service, 3.0) != first
-    assert placers.placer(service, 3.2) == first
+        coordinators.record_request(first, FLOW, start)
+        coordinators.is_pending(FLOW, start + 0.04)
+    assert coordinators.placer(service, 3.0) != first
+    assert coordinators.placer(service, 3.2) == first
 
 
-def test_an_answer_ends_the_doubt(placers):
-    service = others_service(placers)
-    first = placers.placer(service, 0.0)
-    placers.record_request(first, FLOW, 0.0)
-    placers.is_pending(FLOW, 0.04)
-    placers.record_answer(first, FLOW)
-    assert placers.placer(service, 0.05) == first
+def test_an_answer_ends_the_doubt(coordinators):
+    service = others_service(coordinators)
+    first = coordinators.placer(service, 0.0)
+    coordinators.record_request(first, FLOW, 0.0)
+    coordinators.is_pending(FLOW, 0.04)
+    coordinators.record_answer(first, FLOW)
+    assert coordinators.placer(service, 0.05) == first
 
 
-def test_questions_that_nobody_minds_are_dropped(placers):
-    placers.record_request("e2", FLOW, 0.0)
-    placers.remove_expired(0.5)
-    assert placers.pending_requests == {}
+def test_questions_that_nobody_minds_are_dropped(coordinators):
+    coordinators.record_request("e2", FLOW, 0.0)
+    coordinators.remove_expired(0.5)
+    assert coordinators.pending_requests == {}
