Rename made to selector

The variable holds a coordinator selector. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_placers.py coordinators made selector

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -11,9 +11,9 @@
 
 @pytest.fixture
 def coordinators():
-    made = CoordinatorSelector(TokenSettings("e1", "a"))
-    made.set_peers(PEERS)
-    return made
+    selector = CoordinatorSelector(TokenSettings("e1", "a"))
+    selector.set_peers(PEERS)
+    return selector
 
 
 def others_service(coordinators):
