Rename one to selector

The variable holds a coordinator selector. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_placers.py * one selector

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -26,9 +26,9 @@
     for service in ("entries", "pagesetter", "depot-desk"):
         named = set()
         for vm in PEERS:
-            one = CoordinatorSelector(TokenSettings(vm, "a"))
-            one.set_peers(PEERS)
-            named.add(one.placer(service, 0.0))
+            selector = CoordinatorSelector(TokenSettings(vm, "a"))
+            selector.set_peers(PEERS)
+            named.add(selector.placer(service, 0.0))
         assert len(named) == 1
 
 
