--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -24,12 +24,12 @@
 
 def test_all_vms_of_a_zone_name_the_same_placer():
     for service in ("entries", "pagesetter", "depot-desk"):
-        named = set()
+        selected_vms = set()
         for vm in PEERS:
             selector = CoordinatorSelector(TokenSettings(vm, "a"))
             selector.set_peers(PEERS)
-            named.add(selector.placer(service, 0.0))
-        assert len(named) == 1
+            selected_vms.add(selector.placer(service, 0.0))
+        assert len(selected_vms) == 1
 
 
 def test_a_vm_without_peers_places_itself():
