--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -18,8 +18,10 @@
 
 def others_service(coordinators):
     """Return a service whose placement coordinator is another VM."""
-    names = (f"service-{number}" for number in range(99))
-    return next(name for name in names if coordinators.placer(name, 0.0) != "e1")
+    service_names = (f"service-{number}" for number in range(99))
+    return next(
+        name for name in service_names if coordinators.placer(name, 0.0) != "e1"
+    )
 
 
 def test_all_vms_of_a_zone_name_the_same_placer():
