Rename first to coordinator

The first choice of coordinator. Made on the syntax tokens of the named scope; behaviour is unchanged.

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -40,31 +40,31 @@
 
 def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(coordinators):
     service = others_service(coordinators)
-    first = coordinators.placer(service, 0.0)
-    coordinators.record_request(first, FLOW, 0.0)
+    coordinator = coordinators.placer(service, 0.0)
+    coordinators.record_request(coordinator, FLOW, 0.0)
     assert coordinators.is_pending(FLOW, 0.02)
     assert not coordinators.is_pending(FLOW, 0.04)
-    assert coordinators.placer(service, 0.1) != first
-    assert coordinators.placer(service, 1.1) == first
+    assert coordinators.placer(service, 0.1) != coordinator
+    assert coordinators.placer(service, 1.1) == coordinator
 
 
 def test_a_placer_that_goes_on_without_answers_is_left_alone_longer(coordinators):
     service = others_service(coordinators)
-    first = coordinators.placer(service, 0.0)
+    coordinator = coordinators.placer(service, 0.0)
     for start in (0.0, 1.1):
-        coordinators.record_request(first, FLOW, start)
+        coordinators.record_request(coordinator, FLOW, start)
         coordinators.is_pending(FLOW, start + 0.04)
-    assert coordinators.placer(service, 3.0) != first
-    assert coordinators.placer(service, 3.2) == first
+    assert coordinators.placer(service, 3.0) != coordinator
+    assert coordinators.placer(service, 3.2) == coordinator
 
 
 def test_an_answer_ends_the_doubt(coordinators):
     service = others_service(coordinators)
-    first = coordinators.placer(service, 0.0)
-    coordinators.record_request(first, FLOW, 0.0)
+    coordinator = coordinators.placer(service, 0.0)
+    coordinators.record_request(coordinator, FLOW, 0.0)
     coordinators.is_pending(FLOW, 0.04)
-    coordinators.record_answer(first, FLOW)
-    assert coordinators.placer(service, 0.05) == first
+    coordinators.record_answer(coordinator, FLOW)
+    assert coordinators.placer(service, 0.05) == coordinator
 
 
 def test_questions_that_nobody_minds_are_dropped(coordinators):
