--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -5,14 +5,14 @@
 from kumquatmux_tokens.placers import CoordinatorSelector
 from kumquatmux_tokens.settings import TokenSettings
 
-PEERS = ("e1", "e2", "e3")
+ENTRY_VMS = ("e1", "e2", "e3")
 FLOW = bytes(12)
 
 
 @pytest.fixture
 def coordinators():
     selector = CoordinatorSelector(TokenSettings("e1", "a"))
-    selector.set_peers(PEERS)
+    selector.set_peers(ENTRY_VMS)
     return selector
 
 
@@ -27,9 +27,9 @@
 def test_all_vms_of_a_zone_name_the_same_placer():
     for service in ("entries", "pagesetter", "depot-desk"):
         selected_vms = set()
-        for vm in PEERS:
+        for vm in ENTRY_VMS:
             selector = CoordinatorSelector(TokenSettings(vm, "a"))
-            selector.set_peers(PEERS)
+            selector.set_peers(ENTRY_VMS)
             selected_vms.add(selector.placer(service, 0.0))
         assert len(selected_vms) == 1
 
