--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -6,7 +6,7 @@
 from kumquatmux_tokens.settings import TokenSettings
 
 ENTRY_VMS = ("e1", "e2", "e3")
-FLOW = bytes(12)
+FLOW_KEY = bytes(12)
 
 
 @pytest.fixture
@@ -41,9 +41,9 @@
 def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(coordinators):
     service = others_service(coordinators)
     coordinator = coordinators.placer(service, 0.0)
-    coordinators.record_request(coordinator, FLOW, 0.0)
-    assert coordinators.is_pending(FLOW, 0.02)
-    assert not coordinators.is_pending(FLOW, 0.04)
+    coordinators.record_request(coordinator, FLOW_KEY, 0.0)
+    assert coordinators.is_pending(FLOW_KEY, 0.02)
+    assert not coordinators.is_pending(FLOW_KEY, 0.04)
     assert coordinators.placer(service, 0.1) != coordinator
     assert coordinators.placer(service, 1.1) == coordinator
 
@@ -52,8 +52,8 @@
     service = others_service(coordinators)
     coordinator = coordinators.placer(service, 0.0)
     for start in (0.0, 1.1):
-        coordinators.record_request(coordinator, FLOW, start)
-        coordinators.is_pending(FLOW, start + 0.04)
+        coordinators.record_request(coordinator, FLOW_KEY, start)
+        coordinators.is_pending(FLOW_KEY, start + 0.04)
     assert coordinators.placer(service, 3.0) != coordinator
     assert coordinators.placer(service, 3.2) == coordinator
 
@@ -61,13 +61,13 @@
 def test_an_answer_ends_the_doubt(coordinators):
     service = others_service(coordinators)
     coordinator = coordinators.placer(service, 0.0)
-    coordinators.record_request(coordinator, FLOW, 0.0)
-    coordinators.is_pending(FLOW, 0.04)
-    coordinators.record_answer(coordinator, FLOW)
+    coordinators.record_request(coordinator, FLOW_KEY, 0.0)
+    coordinators.is_pending(FLOW_KEY, 0.04)
+    coordinators.record_answer(coordinator, FLOW_KEY)
     assert coordinators.placer(service, 0.05) == coordinator
 
 
 def test_questions_that_nobody_minds_are_dropped(coordinators):
-    coordinators.record_request("e2", FLOW, 0.0)
+    coordinators.record_request("e2", FLOW_KEY, 0.0)
     coordinators.remove_expired(0.5)
     assert coordinators.pending_requests == {}
