Rename others_service to service_of_another_coordinator

Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_placers.py * others_service service_of_another_coordinator

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -16,7 +16,7 @@
     return selector
 
 
-def others_service(coordinators):
+def service_of_another_coordinator(coordinators):
     """Return a service whose placement coordinator is another VM."""
     service_names = (f"service-{number}" for number in range(99))
     return next(
@@ -39,7 +39,7 @@
 
 
 def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(coordinators):
-    service = others_service(coordinators)
+    service = service_of_another_coordinator(coordinators)
     coordinator = coordinators.placer(service, 0.0)
     coordinators.record_request(coordinator, FLOW_KEY, 0.0)
     assert coordinators.is_pending(FLOW_KEY, 0.02)
@@ -49,7 +49,7 @@
 
 
 def test_a_placer_that_goes_on_without_answers_is_left_alone_longer(coordinators):
-    service = others_service(coordinators)
+    service = service_of_another_coordinator(coordinators)
     coordinator = coordinators.placer(service, 0.0)
     for start in (0.0, 1.1):
         coordinators.record_request(coordinator, FLOW_KEY, start)
@@ -59,7 +59,7 @@
 
 
 def test_an_answer_ends_the_doubt(coordinators):
-    service = others_service(coordinators)
+    service = service_of_another_coordinator(coordinators)
     coordinator = coordinators.placer(service, 0.0)
     coordinators.record_request(coordinator, FLOW_KEY, 0.0)
     coordinators.is_pending(FLOW_KEY, 0.04)
