Rename test_all_vms_of_a_zone_name_the_same_placer to test_all_vms_of_a_zone_select_the_same_coordinator

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_placers.py * test_all_vms_of_a_zone_name_the_same_placer test_all_vms_of_a_zone_select_the_same_coordinator

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -24,7 +24,7 @@
     )
 
 
-def test_all_vms_of_a_zone_name_the_same_placer():
+def test_all_vms_of_a_zone_select_the_same_coordinator():
     for service in ("entries", "pagesetter", "depot-desk"):
         selected_vms = set()
         for vm in ENTRY_VMS:
