Rename test_a_vm_without_peers_places_itself to test_vm_without_peers_is_its_own_coordinator

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_placers.py * test_a_vm_without_peers_places_itself test_vm_without_peers_is_its_own_coordinator

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -34,7 +34,7 @@
         assert len(selected_vms) == 1
 
 
-def test_a_vm_without_peers_places_itself():
+def test_vm_without_peers_is_its_own_coordinator():
     assert CoordinatorSelector(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
 
 
