Rename test_a_placer_that_does_not_answer_is_left_alone_for_a_while to test_unresponsive_coordinator_is_skipped_during_its_backoff

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_placers.py * test_a_placer_that_does_not_answer_is_left_alone_for_a_while test_unresponsive_coordinator_is_skipped_during_its_backoff

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -38,7 +38,7 @@
     assert CoordinatorSelector(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
 
 
-def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(coordinators):
+def test_unresponsive_coordinator_is_skipped_during_its_backoff(coordinators):
     service = service_of_another_coordinator(coordinators)
     coordinator = coordinators.placer(service, 0.0)
     coordinators.record_request(coordinator, FLOW_KEY, 0.0)
