Rename test_a_placer_that_goes_on_without_answers_is_left_alone_longer to test_backoff_doubles_after_a_second_timeout

Usual terms for what the test checks.

Rename: test_placers.py * test_a_placer_that_goes_on_without_answers_is_left_alone_longer test_backoff_doubles_after_a_second_timeout

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -48,7 +48,7 @@
     assert coordinators.placer(service, 1.1) == coordinator
 
 
-def test_a_placer_that_goes_on_without_answers_is_left_alone_longer(coordinators):
+def test_backoff_doubles_after_a_second_timeout(coordinators):
     service = service_of_another_coordinator(coordinators)
     coordinator = coordinators.placer(service, 0.0)
     for start in (0.0, 1.1):
