Rename test_an_answer_ends_the_doubt to test_answer_ends_the_backoff

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_placers.py * test_an_answer_ends_the_doubt test_answer_ends_the_backoff

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -58,7 +58,7 @@
     assert coordinators.placer(service, 3.2) == coordinator
 
 
-def test_an_answer_ends_the_doubt(coordinators):
+def test_answer_ends_the_backoff(coordinators):
     service = service_of_another_coordinator(coordinators)
     coordinator = coordinators.placer(service, 0.0)
     coordinators.record_request(coordinator, FLOW_KEY, 0.0)
