Rename test_questions_that_nobody_minds_are_dropped to test_timed_out_placement_requests_are_removed

Usual terms for what the test checks.

Rename: test_placers.py * test_questions_that_nobody_minds_are_dropped test_timed_out_placement_requests_are_removed

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -67,7 +67,7 @@
     assert coordinators.placer(service, 0.05) == coordinator
 
 
-def test_questions_that_nobody_minds_are_dropped(coordinators):
+def test_timed_out_placement_requests_are_removed(coordinators):
     coordinators.record_request("e2", FLOW_KEY, 0.0)
     coordinators.remove_expired(0.5)
     assert coordinators.pending_requests == {}
