--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -9,35 +9,35 @@
 SETTINGS = TokenSettings("e1", "a", syn_buffer_limit=2)
 
 
-def opening(copy=0, flow=b"f"):
+def make_syn(copy=0, flow=b"f"):
     return Head(flow, b"r", 0, True, False, copy, 0, copy, 0)
 
 
 @pytest.mark.parametrize(("copy", "left_s"), [(0, 1.4), (1, 1.2), (2, 0.8), (9, 0.8)])
 def test_an_opening_waits_as_long_as_its_caller(copy, left_s):
     waiting = SynBuffer(SETTINGS)
-    waiting.put(opening(copy), b"", 10.0)
+    waiting.put(make_syn(copy), b"", 10.0)
     assert len(waiting.due(10.0 + left_s - 0.01)) == 1
     assert waiting.due(10.0 + left_s + 0.01) == []
 
 
 def test_a_copy_does_not_make_the_caller_wait_longer():
     waiting = SynBuffer(SETTINGS)
-    waiting.put(opening(0), b"", 10.0)
-    waiting.put(opening(2), b"", 11.3)
+    waiting.put(make_syn(0), b"", 10.0)
+    waiting.put(make_syn(2), b"", 11.3)
     assert waiting.due(11.5) == []
 
 
 def test_there_is_room_for_so_many_only():
     waiting = SynBuffer(SETTINGS)
-    assert waiting.put(opening(flow=b"1"), b"", 0.0)
-    assert waiting.put(opening(flow=b"2"), b"", 0.0)
-    assert not waiting.put(opening(flow=b"3"), b"", 0.0)
-    assert waiting.put(opening(1, flow=b"2"), b"", 0.0)
+    assert waiting.put(make_syn(flow=b"1"), b"", 0.0)
+    assert waiting.put(make_syn(flow=b"2"), b"", 0.0)
+    assert not waiting.put(make_syn(flow=b"3"), b"", 0.0)
+    assert waiting.put(make_syn(1, flow=b"2"), b"", 0.0)
 
 
 def test_one_that_was_placed_waits_no_more():
     waiting = SynBuffer(SETTINGS)
-    waiting.put(opening(), b"", 0.0)
+    waiting.put(make_syn(), b"", 0.0)
     waiting.remove(b"f")
     assert waiting.due(0.1) == []
