--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -15,29 +15,29 @@
 
 @pytest.mark.parametrize(("copy", "left_s"), [(0, 1.4), (1, 1.2), (2, 0.8), (9, 0.8)])
 def test_an_opening_waits_as_long_as_its_caller(copy, left_s):
-    waiting = SynBuffer(SETTINGS)
-    waiting.put(make_syn(copy), b"", 10.0)
-    assert len(waiting.due(10.0 + left_s - 0.01)) == 1
-    assert waiting.due(10.0 + left_s + 0.01) == []
+    syn_buffer = SynBuffer(SETTINGS)
+    syn_buffer.put(make_syn(copy), b"", 10.0)
+    assert len(syn_buffer.due(10.0 + left_s - 0.01)) == 1
+    assert syn_buffer.due(10.0 + left_s + 0.01) == []
 
 
 def test_a_copy_does_not_make_the_caller_wait_longer():
-    waiting = SynBuffer(SETTINGS)
-    waiting.put(make_syn(0), b"", 10.0)
-    waiting.put(make_syn(2), b"", 11.3)
-    assert waiting.due(11.5) == []
+    syn_buffer = SynBuffer(SETTINGS)
+    syn_buffer.put(make_syn(0), b"", 10.0)
+    syn_buffer.put(make_syn(2), b"", 11.3)
+    assert syn_buffer.due(11.5) == []
 
 
 def test_there_is_room_for_so_many_only():
-    waiting = SynBuffer(SETTINGS)
-    assert waiting.put(make_syn(flow=b"1"), b"", 0.0)
-    assert waiting.put(make_syn(flow=b"2"), b"", 0.0)
-    assert not waiting.put(make_syn(flow=b"3"), b"", 0.0)
-    assert waiting.put(make_syn(1, flow=b"2"), b"", 0.0)
+    syn_buffer = SynBuffer(SETTINGS)
+    assert syn_buffer.put(make_syn(flow=b"1"), b"", 0.0)
+    assert syn_buffer.put(make_syn(flow=b"2"), b"", 0.0)
+    assert not syn_buffer.put(make_syn(flow=b"3"), b"", 0.0)
+    assert syn_buffer.put(make_syn(1, flow=b"2"), b"", 0.0)
 
 
 def test_one_that_was_placed_waits_no_more():
-    waiting = SynBuffer(SETTINGS)
-    waiting.put(make_syn(), b"", 0.0)
-    waiting.remove(b"f")
-    assert waiting.due(0.1) == []
+    syn_buffer = SynBuffer(SETTINGS)
+    syn_buffer.put(make_syn(), b"", 0.0)
+    syn_buffer.remove(b"f")
+    assert syn_buffer.due(0.1) == []
