--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -14,7 +14,7 @@
 
 
 @pytest.mark.parametrize(("copy", "left_s"), [(0, 1.4), (1, 1.2), (2, 0.8), (9, 0.8)])
-def test_an_opening_waits_as_long_as_its_caller(copy, left_s):
+def test_syn_is_buffered_until_its_caller_times_out(copy, left_s):
     syn_buffer = SynBuffer(SETTINGS)
     syn_buffer.put(make_syn(copy), b"", 10.0)
     assert len(syn_buffer.due(10.0 + left_s - 0.01)) == 1
