Rename test_a_copy_does_not_make_the_caller_wait_longer to test_retransmission_does_not_extend_the_deadline

Usual terms for what the test checks.

Rename: test_waiting.py * test_a_copy_does_not_make_the_caller_wait_longer test_retransmission_does_not_extend_the_deadline

--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -21,7 +21,7 @@
     assert syn_buffer.due(10.0 + left_s + 0.01) == []
 
 
-def test_a_copy_does_not_make_the_caller_wait_longer():
+def test_retransmission_does_not_extend_the_deadline():
     syn_buffer = SynBuffer(SETTINGS)
     syn_buffer.put(make_syn(0), b"", 10.0)
     syn_buffer.put(make_syn(2), b"", 11.3)
