Rename test_there_is_room_for_so_many_only to test_full_buffer_rejects_syns_of_further_flows

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_waiting.py * test_there_is_room_for_so_many_only test_full_buffer_rejects_syns_of_further_flows

--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -28,7 +28,7 @@
     assert syn_buffer.due(11.5) == []
 
 
-def test_there_is_room_for_so_many_only():
+def test_full_buffer_rejects_syns_of_further_flows():
     syn_buffer = SynBuffer(SETTINGS)
     assert syn_buffer.put(make_syn(flow=b"1"), b"", 0.0)
     assert syn_buffer.put(make_syn(flow=b"2"), b"", 0.0)
