--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -36,7 +36,7 @@
     assert syn_buffer.put(make_syn(1, flow=b"2"), b"", 0.0)
 
 
-def test_one_that_was_placed_waits_no_more():
+def test_removed_syn_is_not_returned():
     syn_buffer = SynBuffer(SETTINGS)
     syn_buffer.put(make_syn(), b"", 0.0)
     syn_buffer.remove(b"f")
