--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -15,7 +15,9 @@
 LONG = NewFlow((), True, NOW)
 
 
-def server(name, zone="a", slots=2, warm_up_s=0.0, doubts=0, phase=Phase.READY):
+def make_server_record(
+    name, zone="a", slots=2, warm_up_s=0.0, doubts=0, phase=Phase.READY
+):
     place = Endpoint("10.0.0.9", int(name[2:]))
     report = Report(
         Lifetime(name, 1), 1, "entries", place, zone, "v1", slots, phase, warm_up_s
@@ -42,45 +44,59 @@
 
 
 def test_the_server_with_the_least_work_takes_a_short_flow():
-    assert chosen([server("i-1"), server("i-2")], {"i-1": 1}) == "i-2"
+    assert (
+        chosen([make_server_record("i-1"), make_server_record("i-2")], {"i-1": 1})
+        == "i-2"
+    )
 
 
 def test_work_counts_by_slots():
-    records = [server("i-1", slots=8), server("i-2", slots=2)]
+    records = [make_server_record("i-1", slots=8), make_server_record("i-2", slots=2)]
     assert chosen(records, {"i-1": 2, "i-2": 1}) == "i-1"
 
 
 def test_the_work_that_other_vms_see_counts_too():
     token = Lifetime("i-1", 1).token
     shared = LoadShare("e2", 1, True, 0, (ServerLoad(token, 3, 3, False),))
-    assert chosen([server("i-1"), server("i-2")], {"i-2": 1}, shared=shared) == "i-2"
+    assert (
+        chosen(
+            [make_server_record("i-1"), make_server_record("i-2")],
+            {"i-2": 1},
+            shared=shared,
+        )
+        == "i-2"
+    )
 
 
 def test_a_flow_stays_in_its_zone_until_its_servers_are_busy():
-    records = [server("i-1", "a"), server("i-2", "b")]
+    records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
     assert chosen(records, {"i-1": 1}) == "i-1"
     assert chosen(records, {"i-1": 3}) == "i-2"
 
 
 def test_a_long_flow_goes_where_the_fewest_flows_are_whatever_is_busy_now():
-    records = [server("i-1"), server("i-2")]
+    records = [make_server_record("i-1"), make_server_record("i-2")]
     work = {"busy": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
     assert chosen(records, opening=LONG, **work) == "i-1"
 
 
 def test_a_long_flow_does_not_leave_its_zone_for_a_moments_work():
-    records = [server("i-1", "a"), server("i-2", "b")]
+    records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
     assert chosen(records, {"i-1": 3}, opening=LONG) == "i-1"
 
 
 def test_a_server_that_warms_up_gets_less():
-    records = [server("i-1", warm_up_s=30.0), server("i-2")]
+    records = [make_server_record("i-1", warm_up_s=30.0), make_server_record("i-2")]
     assert chosen(records, {"i-2": 1}) == "i-2"
     assert chosen(records, {"i-2": 2}) == "i-1"
 
 
 def test_last_resorts_come_in_their_order():
-    late, tried, fine = server("i-1", doubts=1), server("i-2"), server("i-3")
+    late, tried, fine = (
+        make_server_record("i-1", doubts=1),
+        make_server_record("i-2"),
+        make_server_record("i-3"),
+    )
     after = NewFlow((tried.token,), False, NOW)
     assert chosen([late, tried, fine], {"i-3": 5}, opening=after) == "i-3"
     assert chosen([late, tried], opening=after) == "i-1"
@@ -88,11 +104,11 @@
 
 
 def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
-    known = [server("i-1", "b")]
+    known = [make_server_record("i-1", "b")]
     assert chosen(known, known_at=NOW - 0.05) == "i-1"
     directory = ServerDirectory()
-    directory.store_record(server("i-1"), NOW - 0.05)
-    directory.store_record(server("i-2", "b"), 0.0)
+    directory.store_record(make_server_record("i-1"), NOW - 0.05)
+    directory.store_record(make_server_record("i-2", "b"), 0.0)
     load = LoadTracker(TokenSettings("e1", "a"))
     choice = select_server(directory.running_servers("entries"), SHORT, load, Random(1))
     assert choice.entry.record.report.lifetime.name == "i-2"
@@ -100,8 +116,8 @@
 
 def test_servers_of_a_zone_that_does_not_answer_come_last():
     directory = ServerDirectory()
-    directory.store_record(server("i-1", "b"), 0.0)
-    directory.store_record(server("i-2", "c"), 0.0)
+    directory.store_record(make_server_record("i-1", "b"), 0.0)
+    directory.store_record(make_server_record("i-2", "c"), 0.0)
     load = LoadTracker(TokenSettings("e1", "a"))
     load.silent_zones = frozenset({"b"})
     names = set()
@@ -114,6 +130,6 @@
 
 
 def test_servers_that_leave_or_have_ended_are_no_choice():
-    leaving = server("i-1", phase=Phase.DRAINING)
-    over = server("i-2", phase=Phase.ENDED)
+    leaving = make_server_record("i-1", phase=Phase.DRAINING)
+    over = make_server_record("i-2", phase=Phase.ENDED)
     assert chosen([leaving, over]) is None
