--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -25,7 +25,9 @@
     return ServerRecord(report, "c1", doubts)
 
 
-def chosen(records, busy=(), opening=SHORT, known_at=0.0, open_flows=(), shared=None):
+def selected_server_name(
+    records, busy=(), opening=SHORT, known_at=0.0, open_flows=(), shared=None
+):
     """Return the name of the selected server, given requests and flows by name."""
     directory = ServerDirectory()
     load = LoadTracker(TokenSettings("e1", "a"))
@@ -45,21 +47,23 @@
 
 def test_the_server_with_the_least_work_takes_a_short_flow():
     assert (
-        chosen([make_server_record("i-1"), make_server_record("i-2")], {"i-1": 1})
+        selected_server_name(
+            [make_server_record("i-1"), make_server_record("i-2")], {"i-1": 1}
+        )
         == "i-2"
     )
 
 
 def test_work_counts_by_slots():
     records = [make_server_record("i-1", slots=8), make_server_record("i-2", slots=2)]
-    assert chosen(records, {"i-1": 2, "i-2": 1}) == "i-1"
+    assert selected_server_name(records, {"i-1": 2, "i-2": 1}) == "i-1"
 
 
 def test_the_work_that_other_vms_see_counts_too():
     token = Lifetime("i-1", 1).token
     shared = LoadShare("e2", 1, True, 0, (ServerLoad(token, 3, 3, False),))
     assert (
-        chosen(
+        selected_server_name(
             [make_server_record("i-1"), make_server_record("i-2")],
             {"i-2": 1},
             shared=shared,
@@ -70,25 +74,25 @@
 
 def test_a_flow_stays_in_its_zone_until_its_servers_are_busy():
     records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
-    assert chosen(records, {"i-1": 1}) == "i-1"
-    assert chosen(records, {"i-1": 3}) == "i-2"
+    assert selected_server_name(records, {"i-1": 1}) == "i-1"
+    assert selected_server_name(records, {"i-1": 3}) == "i-2"
 
 
 def test_a_long_flow_goes_where_the_fewest_flows_are_whatever_is_busy_now():
     records = [make_server_record("i-1"), make_server_record("i-2")]
     work = {"busy": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
-    assert chosen(records, opening=LONG, **work) == "i-1"
+    assert selected_server_name(records, opening=LONG, **work) == "i-1"
 
 
 def test_a_long_flow_does_not_leave_its_zone_for_a_moments_work():
     records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
-    assert chosen(records, {"i-1": 3}, opening=LONG) == "i-1"
+    assert selected_server_name(records, {"i-1": 3}, opening=LONG) == "i-1"
 
 
 def test_a_server_that_warms_up_gets_less():
     records = [make_server_record("i-1", warm_up_s=30.0), make_server_record("i-2")]
-    assert chosen(records, {"i-2": 1}) == "i-2"
-    assert chosen(records, {"i-2": 2}) == "i-1"
+    assert selected_server_name(records, {"i-2": 1}) == "i-2"
+    assert selected_server_name(records, {"i-2": 2}) == "i-1"
 
 
 def test_last_resorts_come_in_their_order():
@@ -98,14 +102,14 @@
         make_server_record("i-3"),
     )
     after = NewFlow((tried.token,), False, NOW)
-    assert chosen([late, tried, fine], {"i-3": 5}, opening=after) == "i-3"
-    assert chosen([late, tried], opening=after) == "i-1"
-    assert chosen([tried], opening=after) == "i-2"
+    assert selected_server_name([late, tried, fine], {"i-3": 5}, opening=after) == "i-3"
+    assert selected_server_name([late, tried], opening=after) == "i-1"
+    assert selected_server_name([tried], opening=after) == "i-2"
 
 
 def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
     known = [make_server_record("i-1", "b")]
-    assert chosen(known, known_at=NOW - 0.05) == "i-1"
+    assert selected_server_name(known, known_at=NOW - 0.05) == "i-1"
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1"), NOW - 0.05)
     directory.store_record(make_server_record("i-2", "b"), 0.0)
@@ -132,4 +136,4 @@
 def test_servers_that_leave_or_have_ended_are_no_choice():
     leaving = make_server_record("i-1", phase=Phase.DRAINING)
     over = make_server_record("i-2", phase=Phase.ENDED)
-    assert chosen([leaving, over]) is None
+    assert selected_server_name([leaving, over]) is None
