Rename SHORT to FLOW_WITH_FEW_REQUESTS

Says what is expected of the flow. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_choice.py * SHORT FLOW_WITH_FEW_REQUESTS

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -11,7 +11,7 @@
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
 NOW = 10.0
-SHORT = NewFlow((), False, NOW)
+FLOW_WITH_FEW_REQUESTS = NewFlow((), False, NOW)
 LONG = NewFlow((), True, NOW)
 
 
@@ -26,7 +26,12 @@
 
 
 def selected_server_name(
-    records, busy=(), opening=SHORT, known_at=0.0, open_flows=(), shared=None
+    records,
+    busy=(),
+    opening=FLOW_WITH_FEW_REQUESTS,
+    known_at=0.0,
+    open_flows=(),
+    shared=None,
 ):
     """Return the name of the selected server, given requests and flows by name."""
     directory = ServerDirectory()
@@ -114,7 +119,9 @@
     directory.store_record(make_server_record("i-1"), NOW - 0.05)
     directory.store_record(make_server_record("i-2", "b"), 0.0)
     load = LoadTracker(TokenSettings("e1", "a"))
-    choice = select_server(directory.running_servers("entries"), SHORT, load, Random(1))
+    choice = select_server(
+        directory.running_servers("entries"), FLOW_WITH_FEW_REQUESTS, load, Random(1)
+    )
     assert choice.entry.record.report.lifetime.name == "i-2"
 
 
@@ -127,7 +134,10 @@
     names = set()
     for seed in range(20):
         choice = select_server(
-            directory.running_servers("entries"), SHORT, load, Random(seed)
+            directory.running_servers("entries"),
+            FLOW_WITH_FEW_REQUESTS,
+            load,
+            Random(seed),
         )
         names.add(choice.entry.record.report.lifetime.name)
     assert names == {"i-2"}
