--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -12,7 +12,7 @@
 
 NOW = 10.0
 FLOW_WITH_FEW_REQUESTS = NewFlow((), False, NOW)
-LONG = NewFlow((), True, NOW)
+FLOW_WITH_MANY_REQUESTS = NewFlow((), True, NOW)
 
 
 def make_server_record(
@@ -86,12 +86,17 @@
 def test_a_long_flow_goes_where_the_fewest_flows_are_whatever_is_busy_now():
     records = [make_server_record("i-1"), make_server_record("i-2")]
     work = {"busy": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
-    assert selected_server_name(records, opening=LONG, **work) == "i-1"
+    assert (
+        selected_server_name(records, opening=FLOW_WITH_MANY_REQUESTS, **work) == "i-1"
+    )
 
 
 def test_a_long_flow_does_not_leave_its_zone_for_a_moments_work():
     records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
-    assert selected_server_name(records, {"i-1": 3}, opening=LONG) == "i-1"
+    assert (
+        selected_server_name(records, {"i-1": 3}, opening=FLOW_WITH_MANY_REQUESTS)
+        == "i-1"
+    )
 
 
 def test_a_server_that_warms_up_gets_less():
