--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -10,9 +10,9 @@
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
-NOW = 10.0
-FLOW_WITH_FEW_REQUESTS = NewFlow((), False, NOW)
-FLOW_WITH_MANY_REQUESTS = NewFlow((), True, NOW)
+NOW_S = 10.0
+FLOW_WITH_FEW_REQUESTS = NewFlow((), False, NOW_S)
+FLOW_WITH_MANY_REQUESTS = NewFlow((), True, NOW_S)
 
 
 def make_server_record(
@@ -43,7 +43,7 @@
     for name, count in dict(open_flows).items():
         load.local_load_at(Lifetime(name, 1).token).open_flows = count
     if shared:
-        load.zone.take(shared, NOW)
+        load.zone.take(shared, NOW_S)
     choice = select_server(
         directory.running_servers("entries"), opening, load, Random(1)
     )
@@ -111,7 +111,7 @@
         make_server_record("i-2"),
         make_server_record("i-3"),
     )
-    after = NewFlow((tried.token,), False, NOW)
+    after = NewFlow((tried.token,), False, NOW_S)
     assert selected_server_name([late, tried, fine], {"i-3": 5}, opening=after) == "i-3"
     assert selected_server_name([late, tried], opening=after) == "i-1"
     assert selected_server_name([tried], opening=after) == "i-2"
@@ -119,9 +119,9 @@
 
 def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
     known = [make_server_record("i-1", "b")]
-    assert selected_server_name(known, known_at=NOW - 0.05) == "i-1"
+    assert selected_server_name(known, known_at=NOW_S - 0.05) == "i-1"
     directory = ServerDirectory()
-    directory.store_record(make_server_record("i-1"), NOW - 0.05)
+    directory.store_record(make_server_record("i-1"), NOW_S - 0.05)
     directory.store_record(make_server_record("i-2", "b"), 0.0)
     load = LoadTracker(TokenSettings("e1", "a"))
     choice = select_server(
