Rename place to endpoint

Holds an endpoint. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_choice.py make_server_record place endpoint

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -18,9 +18,9 @@
 def make_server_record(
     name, zone="a", slots=2, warm_up_s=0.0, doubts=0, phase=Phase.READY
 ):
-    place = Endpoint("10.0.0.9", int(name[2:]))
+    endpoint = Endpoint("10.0.0.9", int(name[2:]))
     report = Report(
-        Lifetime(name, 1), 1, "entries", place, zone, "v1", slots, phase, warm_up_s
+        Lifetime(name, 1), 1, "entries", endpoint, zone, "v1", slots, phase, warm_up_s
     )
     return ServerRecord(report, "c1", doubts)
 
