--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -28,7 +28,7 @@
 def selected_server_name(
     records,
     busy=(),
-    opening=FLOW_WITH_FEW_REQUESTS,
+    flow=FLOW_WITH_FEW_REQUESTS,
     known_at=0.0,
     open_flows=(),
     shared=None,
@@ -44,9 +44,7 @@
         load.local_load_at(Lifetime(name, 1).token).open_flows = count
     if shared:
         load.zone.take(shared, NOW_S)
-    choice = select_server(
-        directory.running_servers("entries"), opening, load, Random(1)
-    )
+    choice = select_server(directory.running_servers("entries"), flow, load, Random(1))
     return choice and choice.entry.record.report.lifetime.name
 
 
@@ -86,16 +84,13 @@
 def test_a_long_flow_goes_where_the_fewest_flows_are_whatever_is_busy_now():
     records = [make_server_record("i-1"), make_server_record("i-2")]
     work = {"busy": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
-    assert (
-        selected_server_name(records, opening=FLOW_WITH_MANY_REQUESTS, **work) == "i-1"
-    )
+    assert selected_server_name(records, flow=FLOW_WITH_MANY_REQUESTS, **work) == "i-1"
 
 
 def test_a_long_flow_does_not_leave_its_zone_for_a_moments_work():
     records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
     assert (
-        selected_server_name(records, {"i-1": 3}, opening=FLOW_WITH_MANY_REQUESTS)
-        == "i-1"
+        selected_server_name(records, {"i-1": 3}, flow=FLOW_WITH_MANY_REQUESTS) == "i-1"
     )
 
 
@@ -112,9 +107,9 @@
         make_server_record("i-3"),
     )
     after = NewFlow((tried.token,), False, NOW_S)
-    assert selected_server_name([late, tried, fine], {"i-3": 5}, opening=after) == "i-3"
-    assert selected_server_name([late, tried], opening=after) == "i-1"
-    assert selected_server_name([tried], opening=after) == "i-2"
+    assert selected_server_name([late, tried, fine], {"i-3": 5}, flow=after) == "i-3"
+    assert selected_server_name([late, tried], flow=after) == "i-1"
+    assert selected_server_name([tried], flow=after) == "i-2"
 
 
 def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
