--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -29,7 +29,7 @@
     records,
     busy=(),
     flow=FLOW_WITH_FEW_REQUESTS,
-    known_at=0.0,
+    first_known_at=0.0,
     open_flows=(),
     shared=None,
 ):
@@ -37,7 +37,7 @@
     directory = ServerDirectory()
     load = LoadTracker(TokenSettings("e1", "a"))
     for record in records:
-        directory.store_record(record, known_at)
+        directory.store_record(record, first_known_at)
     for name, count in dict(busy).items():
         load.local_load_at(Lifetime(name, 1).token).active_requests = count
     for name, count in dict(open_flows).items():
@@ -114,7 +114,7 @@
 
 def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
     known = [make_server_record("i-1", "b")]
-    assert selected_server_name(known, known_at=NOW_S - 0.05) == "i-1"
+    assert selected_server_name(known, first_known_at=NOW_S - 0.05) == "i-1"
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1"), NOW_S - 0.05)
     directory.store_record(make_server_record("i-2", "b"), 0.0)
