--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -31,7 +31,7 @@
     flow=FLOW_WITH_FEW_REQUESTS,
     first_known_at=0.0,
     open_flows=(),
-    shared=None,
+    load_report=None,
 ):
     """Return the name of the selected server, given requests and flows by name."""
     directory = ServerDirectory()
@@ -42,8 +42,8 @@
         load.local_load_at(Lifetime(name, 1).token).active_requests = count
     for name, count in dict(open_flows).items():
         load.local_load_at(Lifetime(name, 1).token).open_flows = count
-    if shared:
-        load.zone.take(shared, NOW_S)
+    if load_report:
+        load.zone.take(load_report, NOW_S)
     choice = select_server(directory.running_servers("entries"), flow, load, Random(1))
     return choice and choice.entry.record.report.lifetime.name
 
@@ -64,12 +64,12 @@
 
 def test_the_work_that_other_vms_see_counts_too():
     token = Lifetime("i-1", 1).token
-    shared = LoadShare("e2", 1, True, 0, (ServerLoad(token, 3, 3, False),))
+    load_report = LoadShare("e2", 1, True, 0, (ServerLoad(token, 3, 3, False),))
     assert (
         selected_server_name(
             [make_server_record("i-1"), make_server_record("i-2")],
             {"i-2": 1},
-            shared=shared,
+            load_report=load_report,
         )
         == "i-2"
     )
