--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -44,8 +44,10 @@
         load.local_load_at(Lifetime(name, 1).token).open_flows = count
     if load_report:
         load.zone.take(load_report, NOW_S)
-    choice = select_server(directory.running_servers("entries"), flow, load, Random(1))
-    return choice and choice.entry.record.report.lifetime.name
+    selection = select_server(
+        directory.running_servers("entries"), flow, load, Random(1)
+    )
+    return selection and selection.entry.record.report.lifetime.name
 
 
 def test_the_server_with_the_least_work_takes_a_short_flow():
@@ -119,10 +121,10 @@
     directory.store_record(make_server_record("i-1"), NOW_S - 0.05)
     directory.store_record(make_server_record("i-2", "b"), 0.0)
     load = LoadTracker(TokenSettings("e1", "a"))
-    choice = select_server(
+    selection = select_server(
         directory.running_servers("entries"), FLOW_WITH_FEW_REQUESTS, load, Random(1)
     )
-    assert choice.entry.record.report.lifetime.name == "i-2"
+    assert selection.entry.record.report.lifetime.name == "i-2"
 
 
 def test_servers_of_a_zone_that_does_not_answer_come_last():
@@ -133,13 +135,13 @@
     load.silent_zones = frozenset({"b"})
     names = set()
     for seed in range(20):
-        choice = select_server(
+        selection = select_server(
             directory.running_servers("entries"),
             FLOW_WITH_FEW_REQUESTS,
             load,
             Random(seed),
         )
-        names.add(choice.entry.record.report.lifetime.name)
+        names.add(selection.entry.record.report.lifetime.name)
     assert names == {"i-2"}
 
 
