--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -146,6 +146,6 @@
 
 
 def test_servers_that_leave_or_have_ended_are_no_choice():
-    leaving = make_server_record("i-1", phase=Phase.DRAINING)
+    draining = make_server_record("i-1", phase=Phase.DRAINING)
     over = make_server_record("i-2", phase=Phase.ENDED)
-    assert selected_server_name([leaving, over]) is None
+    assert selected_server_name([draining, over]) is None
