Rename fine to healthy

The server has no known problem. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_choice.py * fine healthy

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -103,13 +103,15 @@
 
 
 def test_last_resorts_come_in_their_order():
-    overdue, tried, fine = (
+    overdue, tried, healthy = (
         make_server_record("i-1", doubts=1),
         make_server_record("i-2"),
         make_server_record("i-3"),
     )
     after = NewFlow((tried.token,), False, NOW_S)
-    assert selected_server_name([overdue, tried, fine], {"i-3": 5}, flow=after) == "i-3"
+    assert (
+        selected_server_name([overdue, tried, healthy], {"i-3": 5}, flow=after) == "i-3"
+    )
     assert selected_server_name([overdue, tried], flow=after) == "i-1"
     assert selected_server_name([tried], flow=after) == "i-2"
 
