Rename after to retried_flow

A flow whose SYN is retransmitted. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_choice.py * after retried_flow

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -108,12 +108,13 @@
         make_server_record("i-2"),
         make_server_record("i-3"),
     )
-    after = NewFlow((tried.token,), False, NOW_S)
+    retried_flow = NewFlow((tried.token,), False, NOW_S)
     assert (
-        selected_server_name([overdue, tried, healthy], {"i-3": 5}, flow=after) == "i-3"
+        selected_server_name([overdue, tried, healthy], {"i-3": 5}, flow=retried_flow)
+        == "i-3"
     )
-    assert selected_server_name([overdue, tried], flow=after) == "i-1"
-    assert selected_server_name([tried], flow=after) == "i-2"
+    assert selected_server_name([overdue, tried], flow=retried_flow) == "i-1"
+    assert selected_server_name([tried], flow=retried_flow) == "i-2"
 
 
 def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
