--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -118,8 +118,8 @@
 
 
 def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
-    known = [make_server_record("i-1", "b")]
-    assert selected_server_name(known, first_known_at=NOW_S - 0.05) == "i-1"
+    records = [make_server_record("i-1", "b")]
+    assert selected_server_name(records, first_known_at=NOW_S - 0.05) == "i-1"
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1"), NOW_S - 0.05)
     directory.store_record(make_server_record("i-2", "b"), 0.0)
