Rename test_the_server_with_the_least_work_takes_a_short_flow to test_flow_with_few_requests_goes_to_the_least_loaded_server

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_choice.py * test_the_server_with_the_least_work_takes_a_short_flow test_flow_with_few_requests_goes_to_the_least_loaded_server

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -50,7 +50,7 @@
     return selection and selection.entry.record.report.lifetime.name
 
 
-def test_the_server_with_the_least_work_takes_a_short_flow():
+def test_flow_with_few_requests_goes_to_the_least_loaded_server():
     assert (
         selected_server_name(
             [make_server_record("i-1"), make_server_record("i-2")], {"i-1": 1}
