--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -59,7 +59,7 @@
     )
 
 
-def test_work_counts_by_slots():
+def test_load_is_compared_per_slot():
     records = [make_server_record("i-1", slots=8), make_server_record("i-2", slots=2)]
     assert selected_server_name(records, {"i-1": 2, "i-2": 1}) == "i-1"
 
