Rename test_the_work_that_other_vms_see_counts_too to test_load_reported_by_other_vms_counts

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_choice.py * test_the_work_that_other_vms_see_counts_too test_load_reported_by_other_vms_counts

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -64,7 +64,7 @@
     assert selected_server_name(records, {"i-1": 2, "i-2": 1}) == "i-1"
 
 
-def test_the_work_that_other_vms_see_counts_too():
+def test_load_reported_by_other_vms_counts():
     token = Lifetime("i-1", 1).token
     load_report = LoadShare("e2", 1, True, 0, (ServerLoad(token, 3, 3, False),))
     assert (
