Rename test_a_flow_stays_in_its_zone_until_its_servers_are_busy to test_flow_leaves_its_zone_only_if_the_local_servers_are_busy

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_choice.py * test_a_flow_stays_in_its_zone_until_its_servers_are_busy test_flow_leaves_its_zone_only_if_the_local_servers_are_busy

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -77,7 +77,7 @@
     )
 
 
-def test_a_flow_stays_in_its_zone_until_its_servers_are_busy():
+def test_flow_leaves_its_zone_only_if_the_local_servers_are_busy():
     records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
     assert selected_server_name(records, {"i-1": 1}) == "i-1"
     assert selected_server_name(records, {"i-1": 3}) == "i-2"
