--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -89,7 +89,7 @@
     assert selected_server_name(records, flow=FLOW_WITH_MANY_REQUESTS, **work) == "i-1"
 
 
-def test_a_long_flow_does_not_leave_its_zone_for_a_moments_work():
+def test_flow_with_many_requests_stays_in_its_zone_despite_active_requests():
     records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
     assert (
         selected_server_name(records, {"i-1": 3}, flow=FLOW_WITH_MANY_REQUESTS) == "i-1"
