Rename test_a_server_that_warms_up_gets_less to test_server_in_warm_up_gets_fewer_flows

Usual terms for what the test checks.

Rename: test_choice.py * test_a_server_that_warms_up_gets_less test_server_in_warm_up_gets_fewer_flows

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -96,7 +96,7 @@
     )
 
 
-def test_a_server_that_warms_up_gets_less():
+def test_server_in_warm_up_gets_fewer_flows():
     records = [make_server_record("i-1", warm_up_s=30.0), make_server_record("i-2")]
     assert selected_server_name(records, {"i-2": 1}) == "i-2"
     assert selected_server_name(records, {"i-2": 2}) == "i-1"
