Rename test_last_resorts_come_in_their_order to test_last_resort_servers_are_selected_by_priority_level

Usual terms for what the test checks.

Rename: test_choice.py * test_last_resorts_come_in_their_order test_last_resort_servers_are_selected_by_priority_level

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -102,7 +102,7 @@
     assert selected_server_name(records, {"i-2": 2}) == "i-1"
 
 
-def test_last_resorts_come_in_their_order():
+def test_last_resort_servers_are_selected_by_priority_level():
     overdue, tried, healthy = (
         make_server_record("i-1", doubts=1),
         make_server_record("i-2"),
