--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -117,7 +117,7 @@
     assert selected_server_name([tried], flow=retried_flow) == "i-2"
 
 
-def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
+def test_newly_known_server_is_not_preferred():
     records = [make_server_record("i-1", "b")]
     assert selected_server_name(records, first_known_at=NOW_S - 0.05) == "i-1"
     directory = ServerDirectory()
