--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -130,7 +130,7 @@
     assert selection.entry.record.report.lifetime.name == "i-2"
 
 
-def test_servers_of_a_zone_that_does_not_answer_come_last():
+def test_servers_of_an_unreachable_zone_are_a_last_resort():
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1", "b"), 0.0)
     directory.store_record(make_server_record("i-2", "c"), 0.0)
