Rename test_servers_that_leave_or_have_ended_are_no_choice to test_draining_and_ended_servers_are_not_selected

Usual terms for what the test checks.

Rename: test_choice.py * test_servers_that_leave_or_have_ended_are_no_choice test_draining_and_ended_servers_are_not_selected

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -148,7 +148,7 @@
     assert names == {"i-2"}
 
 
-def test_servers_that_leave_or_have_ended_are_no_choice():
+def test_draining_and_ended_servers_are_not_selected():
     draining = make_server_record("i-1", phase=Phase.DRAINING)
     ended = make_server_record("i-2", phase=Phase.ENDED)
     assert selected_server_name([draining, ended]) is None
