--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -12,7 +12,7 @@
 SYN = Head(FLOW, ROUTE, 0, True, False, 0, 100, 0, 0)
 
 
-def packet(sequence=101, acknowledged=500, length=0, closing=False):
+def make_packet(sequence=101, acknowledged=500, length=0, closing=False):
     return Head(FLOW, ROUTE, 7, False, closing, 0, sequence, acknowledged, length)
 
 
@@ -32,24 +32,24 @@
 
 
 def test_a_request_counts_until_the_caller_acknowledges_the_answer(load):
-    load.record_packet(packet(length=900), 7, 0.01)
-    load.record_packet(packet(sequence=1001), 7, 0.02)
+    load.record_packet(make_packet(length=900), 7, 0.01)
+    load.record_packet(make_packet(sequence=1001), 7, 0.02)
     assert load.local_loads[7].active_requests == 1
-    load.record_packet(packet(sequence=1001, acknowledged=1700), 7, 0.05)
+    load.record_packet(make_packet(sequence=1001, acknowledged=1700), 7, 0.05)
     assert load.local_loads[7].active_requests == 0
     assert load.local_loads[7].open_flows == 1
 
 
 def test_a_retransmission_is_no_further_request(load):
-    load.record_packet(packet(length=900), 7, 0.01)
-    load.record_packet(packet(sequence=1001, acknowledged=1700), 7, 0.05)
-    load.record_packet(packet(length=900, acknowledged=1700), 7, 0.3)
+    load.record_packet(make_packet(length=900), 7, 0.01)
+    load.record_packet(make_packet(sequence=1001, acknowledged=1700), 7, 0.05)
+    load.record_packet(make_packet(length=900, acknowledged=1700), 7, 0.3)
     assert load.local_loads[7].active_requests == 0
 
 
 def test_a_close_ends_flow_and_work(load):
-    load.record_packet(packet(length=900), 7, 0.01)
-    load.record_packet(packet(sequence=1001, closing=True), 7, 0.02)
+    load.record_packet(make_packet(length=900), 7, 0.01)
+    load.record_packet(make_packet(sequence=1001, closing=True), 7, 0.02)
     assert (load.local_loads[7].active_requests, load.local_loads[7].open_flows) == (
         0,
         0,
@@ -57,7 +57,7 @@
 
 
 def test_a_request_without_a_sign_is_not_counted_for_long(load):
-    load.record_packet(packet(length=900), 7, 0.01)
+    load.record_packet(make_packet(length=900), 7, 0.01)
     load.remove_expired(0.6)
     assert load.local_loads[7].active_requests == 1
     load.remove_expired(0.8)
@@ -65,17 +65,17 @@
 
 
 def test_an_idle_flow_is_forgotten(load):
-    load.record_packet(packet(length=900), 7, 0.01)
+    load.record_packet(make_packet(length=900), 7, 0.01)
     load.remove_expired(16.0)
     assert load.flows == {}
 
 
 def test_sequences_go_on_around_their_end(load):
-    load.record_packet(packet(sequence=0xFFFFFFF0, length=0), 7, 0.01)
-    load.record_packet(packet(sequence=0xFFFFFFF0, length=32), 7, 0.02)
-    load.record_packet(packet(sequence=16, acknowledged=900), 7, 0.03)
+    load.record_packet(make_packet(sequence=0xFFFFFFF0, length=0), 7, 0.01)
+    load.record_packet(make_packet(sequence=0xFFFFFFF0, length=32), 7, 0.02)
+    load.record_packet(make_packet(sequence=16, acknowledged=900), 7, 0.03)
     assert load.local_loads[7].active_requests == 0
-    load.record_packet(packet(sequence=16, acknowledged=900, length=32), 7, 0.04)
+    load.record_packet(make_packet(sequence=16, acknowledged=900, length=32), 7, 0.04)
     assert load.local_loads[7].active_requests == 1
 
 
@@ -83,8 +83,10 @@
     assert not load.expects_many_requests(ROUTE)
     for number in range(40):
         sequence = 101 + number * 10
-        load.record_packet(packet(sequence, 500 + number, length=10), 7, number * 1.0)
-        load.record_packet(packet(sequence + 10, 501 + number), 7, number + 0.5)
+        load.record_packet(
+            make_packet(sequence, 500 + number, length=10), 7, number * 1.0
+        )
+        load.record_packet(make_packet(sequence + 10, 501 + number), 7, number + 0.5)
     assert load.expects_many_requests(ROUTE)
 
 
