Rename table to tracker

The variable holds a load tracker. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_load.py load table tracker

--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -18,9 +18,9 @@
 
 @pytest.fixture
 def load():
-    table = LoadTracker(TokenSettings("e1", "a"))
-    table.record_syn(SYN, 7, 0.0)
-    return table
+    tracker = LoadTracker(TokenSettings("e1", "a"))
+    tracker.record_syn(SYN, 7, 0.0)
+    return tracker
 
 
 def test_a_placed_flow_counts_as_work_until_its_caller_went_on_elsewhere(load):
