--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -17,82 +17,89 @@
 
 
 @pytest.fixture
-def load():
+def tracker():
     tracker = LoadTracker(TokenSettings("e1", "a"))
     tracker.record_syn(SYN, 7, 0.0)
     return tracker
 
 
-def test_a_placed_flow_counts_as_work_until_its_caller_went_on_elsewhere(load):
-    assert load.local_loads[7].active_requests == 1
-    load.expire_syn_requests(0.2)
-    assert load.local_loads[7].active_requests == 1
-    load.expire_syn_requests(0.3)
-    assert load.local_loads[7].active_requests == 0
+def test_a_placed_flow_counts_as_work_until_its_caller_went_on_elsewhere(tracker):
+    assert tracker.local_loads[7].active_requests == 1
+    tracker.expire_syn_requests(0.2)
+    assert tracker.local_loads[7].active_requests == 1
+    tracker.expire_syn_requests(0.3)
+    assert tracker.local_loads[7].active_requests == 0
 
 
-def test_a_request_counts_until_the_caller_acknowledges_the_answer(load):
-    load.record_packet(make_packet(length=900), 7, 0.01)
-    load.record_packet(make_packet(sequence=1001), 7, 0.02)
-    assert load.local_loads[7].active_requests == 1
-    load.record_packet(make_packet(sequence=1001, acknowledged=1700), 7, 0.05)
-    assert load.local_loads[7].active_requests == 0
-    assert load.local_loads[7].open_flows == 1
+def test_a_request_counts_until_the_caller_acknowledges_the_answer(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.record_packet(make_packet(sequence=1001), 7, 0.02)
+    assert tracker.local_loads[7].active_requests == 1
+    tracker.record_packet(make_packet(sequence=1001, acknowledged=1700), 7, 0.05)
+    assert tracker.local_loads[7].active_requests == 0
+    assert tracker.local_loads[7].open_flows == 1
 
 
-def test_a_retransmission_is_no_further_request(load):
-    load.record_packet(make_packet(length=900), 7, 0.01)
-    load.record_packet(make_packet(sequence=1001, acknowledged=1700), 7, 0.05)
-    load.record_packet(make_packet(length=900, acknowledged=1700), 7, 0.3)
-    assert load.local_loads[7].active_requests == 0
+def test_a_retransmission_is_no_further_request(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.record_packet(make_packet(sequence=1001, acknowledged=1700), 7, 0.05)
+    tracker.record_packet(make_packet(length=900, acknowledged=1700), 7, 0.3)
+    assert tracker.local_loads[7].active_requests == 0
 
 
-def test_a_close_ends_flow_and_work(load):
-    load.record_packet(make_packet(length=900), 7, 0.01)
-    load.record_packet(make_packet(sequence=1001, closing=True), 7, 0.02)
-    assert (load.local_loads[7].active_requests, load.local_loads[7].open_flows) == (
+def test_a_close_ends_flow_and_work(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.record_packet(make_packet(sequence=1001, closing=True), 7, 0.02)
+    assert (
+        tracker.local_loads[7].active_requests,
+        tracker.local_loads[7].open_flows,
+    ) == (
         0,
         0,
     )
 
 
-def test_a_request_without_a_sign_is_not_counted_for_long(load):
-    load.record_packet(make_packet(length=900), 7, 0.01)
-    load.remove_expired(0.6)
-    assert load.local_loads[7].active_requests == 1
-    load.remove_expired(0.8)
-    assert load.local_loads[7].active_requests == 0
+def test_a_request_without_a_sign_is_not_counted_for_long(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.remove_expired(0.6)
+    assert tracker.local_loads[7].active_requests == 1
+    tracker.remove_expired(0.8)
+    assert tracker.local_loads[7].active_requests == 0
 
 
-def test_an_idle_flow_is_forgotten(load):
-    load.record_packet(make_packet(length=900), 7, 0.01)
-    load.remove_expired(16.0)
-    assert load.flows == {}
+def test_an_idle_flow_is_forgotten(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.remove_expired(16.0)
+    assert tracker.flows == {}
 
 
-def test_sequences_go_on_around_their_end(load):
-    load.record_packet(make_packet(sequence=0xFFFFFFF0, length=0), 7, 0.01)
-    load.record_packet(make_packet(sequence=0xFFFFFFF0, length=32), 7, 0.02)
-    load.record_packet(make_packet(sequence=16, acknowledged=900), 7, 0.03)
-    assert load.local_loads[7].active_requests == 0
-    load.record_packet(make_packet(sequence=16, acknowledged=900, length=32), 7, 0.04)
-    assert load.local_loads[7].active_requests == 1
+def test_sequences_go_on_around_their_end(tracker):
+    tracker.record_packet(make_packet(sequence=0xFFFFFFF0, length=0), 7, 0.01)
+    tracker.record_packet(make_packet(sequence=0xFFFFFFF0, length=32), 7, 0.02)
+    tracker.record_packet(make_packet(sequence=16, acknowledged=900), 7, 0.03)
+    assert tracker.local_loads[7].active_requests == 0
+    tracker.record_packet(
+        make_packet(sequence=16, acknowledged=900, length=32), 7, 0.04
+    )
+    assert tracker.local_loads[7].active_requests == 1
 
 
-def test_a_route_whose_flows_carry_many_requests_is_long(load):
-    assert not load.expects_many_requests(ROUTE)
+def test_a_route_whose_flows_carry_many_requests_is_long(tracker):
+    assert not tracker.expects_many_requests(ROUTE)
     for number in range(40):
         sequence = 101 + number * 10
-        load.record_packet(
+        tracker.record_packet(
             make_packet(sequence, 500 + number, length=10), 7, number * 1.0
         )
-        load.record_packet(make_packet(sequence + 10, 501 + number), 7, number + 0.5)
-    assert load.expects_many_requests(ROUTE)
+        tracker.record_packet(make_packet(sequence + 10, 501 + number), 7, number + 0.5)
+    assert tracker.expects_many_requests(ROUTE)
 
 
-def test_what_one_vm_tells_the_other_uses_for_a_while(load):
+def test_what_one_vm_tells_the_other_uses_for_a_while(tracker):
     other = LoadTracker(TokenSettings("e2", "a"))
-    other.zone.take(LoadShare("e1", 1, True, 0, tuple(load.reportable_loads(0.1))), 0.1)
+    other.zone.take(
+        LoadShare("e1", 1, True, 0, tuple(tracker.reportable_loads(0.1))), 0.1
+    )
     other.remove_expired(1.6)
     assert other.zone.totals[7].active_requests == 1
     other.remove_expired(1.8)
