--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -96,11 +96,11 @@
 
 
 def test_what_one_vm_tells_the_other_uses_for_a_while(tracker):
-    other = LoadTracker(TokenSettings("e2", "a"))
-    other.zone.take(
+    other_tracker = LoadTracker(TokenSettings("e2", "a"))
+    other_tracker.zone.take(
         LoadShare("e1", 1, True, 0, tuple(tracker.reportable_loads(0.1))), 0.1
     )
-    other.remove_expired(1.6)
-    assert other.zone.totals[7].active_requests == 1
-    other.remove_expired(1.8)
-    assert other.zone.totals == {}
+    other_tracker.remove_expired(1.6)
+    assert other_tracker.zone.totals[7].active_requests == 1
+    other_tracker.remove_expired(1.8)
+    assert other_tracker.zone.totals == {}
