--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -8,12 +8,12 @@
 from kumquatmux_tokens.work import LoadShare
 
 ROUTE = bytes([198, 18, 0, 1, 1, 187])
-FLOW = bytes(6) + ROUTE
-SYN = Head(FLOW, ROUTE, 0, True, False, 0, 100, 0, 0)
+FLOW_KEY = bytes(6) + ROUTE
+SYN = Head(FLOW_KEY, ROUTE, 0, True, False, 0, 100, 0, 0)
 
 
 def make_packet(sequence=101, acknowledged=500, length=0, closing=False):
-    return Head(FLOW, ROUTE, 7, False, closing, 0, sequence, acknowledged, length)
+    return Head(FLOW_KEY, ROUTE, 7, False, closing, 0, sequence, acknowledged, length)
 
 
 @pytest.fixture
