Rename ROUTE to ROUTE_ADDRESS

Address and port of a route. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_load.py * ROUTE ROUTE_ADDRESS

--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -7,13 +7,15 @@
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare
 
-ROUTE = bytes([198, 18, 0, 1, 1, 187])
-FLOW_KEY = bytes(6) + ROUTE
-SYN = Head(FLOW_KEY, ROUTE, 0, True, False, 0, 100, 0, 0)
+ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
+FLOW_KEY = bytes(6) + ROUTE_ADDRESS
+SYN = Head(FLOW_KEY, ROUTE_ADDRESS, 0, True, False, 0, 100, 0, 0)
 
 
 def make_packet(sequence=101, acknowledged=500, length=0, closing=False):
-    return Head(FLOW_KEY, ROUTE, 7, False, closing, 0, sequence, acknowledged, length)
+    return Head(
+        FLOW_KEY, ROUTE_ADDRESS, 7, False, closing, 0, sequence, acknowledged, length
+    )
 
 
 @pytest.fixture
@@ -85,14 +87,14 @@
 
 
 def test_a_route_whose_flows_carry_many_requests_is_long(tracker):
-    assert not tracker.expects_many_requests(ROUTE)
+    assert not tracker.expects_many_requests(ROUTE_ADDRESS)
     for number in range(40):
         sequence = 101 + number * 10
         tracker.record_packet(
             make_packet(sequence, 500 + number, length=10), 7, number * 1.0
         )
         tracker.record_packet(make_packet(sequence + 10, 501 + number), 7, number + 0.5)
-    assert tracker.expects_many_requests(ROUTE)
+    assert tracker.expects_many_requests(ROUTE_ADDRESS)
 
 
 def test_what_one_vm_tells_the_other_uses_for_a_while(tracker):
