--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -25,7 +25,7 @@
     return tracker
 
 
-def test_a_placed_flow_counts_as_work_until_its_caller_went_on_elsewhere(tracker):
+def test_syn_request_expires_if_the_caller_sends_nothing_more(tracker):
     assert tracker.local_loads[7].active_requests == 1
     tracker.expire_syn_requests(0.2)
     assert tracker.local_loads[7].active_requests == 1
