Rename test_a_request_counts_until_the_caller_acknowledges_the_answer to test_request_is_active_until_its_answer_is_acknowledged

Usual terms for what the test checks.

Rename: test_load.py * test_a_request_counts_until_the_caller_acknowledges_the_answer test_request_is_active_until_its_answer_is_acknowledged

--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -33,7 +33,7 @@
     assert tracker.local_loads[7].active_requests == 0
 
 
-def test_a_request_counts_until_the_caller_acknowledges_the_answer(tracker):
+def test_request_is_active_until_its_answer_is_acknowledged(tracker):
     tracker.record_packet(make_packet(length=900), 7, 0.01)
     tracker.record_packet(make_packet(sequence=1001), 7, 0.02)
     assert tracker.local_loads[7].active_requests == 1
