Rename test_a_retransmission_is_no_further_request to test_retransmission_is_not_counted_as_a_request

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_load.py * test_a_retransmission_is_no_further_request test_retransmission_is_not_counted_as_a_request

--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -42,7 +42,7 @@
     assert tracker.local_loads[7].open_flows == 1
 
 
-def test_a_retransmission_is_no_further_request(tracker):
+def test_retransmission_is_not_counted_as_a_request(tracker):
     tracker.record_packet(make_packet(length=900), 7, 0.01)
     tracker.record_packet(make_packet(sequence=1001, acknowledged=1700), 7, 0.05)
     tracker.record_packet(make_packet(length=900, acknowledged=1700), 7, 0.3)
