--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -49,7 +49,7 @@
     assert tracker.local_loads[7].active_requests == 0
 
 
-def test_a_close_ends_flow_and_work(tracker):
+def test_closing_a_flow_removes_its_load(tracker):
     tracker.record_packet(make_packet(length=900), 7, 0.01)
     tracker.record_packet(make_packet(sequence=1001, closing=True), 7, 0.02)
     assert (
