--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -61,7 +61,7 @@
     )
 
 
-def test_a_request_without_a_sign_is_not_counted_for_long(tracker):
+def test_unanswered_request_times_out(tracker):
     tracker.record_packet(make_packet(length=900), 7, 0.01)
     tracker.remove_expired(0.6)
     assert tracker.local_loads[7].active_requests == 1
