--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -69,7 +69,7 @@
     assert tracker.local_loads[7].active_requests == 0
 
 
-def test_an_idle_flow_is_forgotten(tracker):
+def test_idle_flow_is_removed(tracker):
     tracker.record_packet(make_packet(length=900), 7, 0.01)
     tracker.remove_expired(16.0)
     assert tracker.flows == {}
