--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -86,7 +86,7 @@
     assert tracker.local_loads[7].active_requests == 1
 
 
-def test_a_route_whose_flows_carry_many_requests_is_long(tracker):
+def test_many_requests_per_flow_are_expected_on_a_route_that_had_them(tracker):
     assert not tracker.expects_many_requests(ROUTE_ADDRESS)
     for number in range(40):
         sequence = 101 + number * 10
