Rename test_what_one_vm_tells_the_other_uses_for_a_while to test_reported_load_counts_until_it_expires

Usual terms for what the test checks.

Rename: test_load.py * test_what_one_vm_tells_the_other_uses_for_a_while test_reported_load_counts_until_it_expires

--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -97,7 +97,7 @@
     assert tracker.expects_many_requests(ROUTE_ADDRESS)
 
 
-def test_what_one_vm_tells_the_other_uses_for_a_while(tracker):
+def test_reported_load_counts_until_it_expires(tracker):
     other_tracker = LoadTracker(TokenSettings("e2", "a"))
     other_tracker.zone.take(
         LoadShare("e1", 1, True, 0, tuple(tracker.reportable_loads(0.1))), 0.1
