Rename work to server_loads

Holds the load on each server. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_work.py share work server_loads

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -15,8 +15,8 @@
     return PeerLoad(SETTINGS)
 
 
-def share(*work, sender="e2", number=1, is_whole=True, grant=0):
-    return LoadShare(sender, number, is_whole, grant, work)
+def share(*server_loads, sender="e2", number=1, is_whole=True, grant=0):
+    return LoadShare(sender, number, is_whole, grant, server_loads)
 
 
 def work(token, busy=1, open_flows=1, is_avoided=False):
