--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -15,7 +15,7 @@
     return PeerLoad(SETTINGS)
 
 
-def share(*server_loads, sender="e2", number=1, is_whole=True, grant=0):
+def make_report(*server_loads, sender="e2", number=1, is_whole=True, grant=0):
     return LoadShare(sender, number, is_whole, grant, server_loads)
 
 
@@ -31,41 +31,41 @@
 
 
 def test_work_is_summed_over_the_vms_that_tell(zone):
-    zone.take(share(work(7, 2, 5)), 1.0)
-    zone.take(share(work(7, 1, 1), work(8), sender="e3"), 1.0)
+    zone.take(make_report(work(7, 2, 5)), 1.0)
+    zone.take(make_report(work(7, 1, 1), work(8), sender="e3"), 1.0)
     assert sums(zone) == {7: (3, 6), 8: (1, 1)}
 
 
 def test_a_whole_message_replaces_all_that_was_told(zone):
-    zone.take(share(work(7), work(8)), 1.0)
-    zone.take(share(work(8, 3, 4), number=2), 1.1)
+    zone.take(make_report(work(7), work(8)), 1.0)
+    zone.take(make_report(work(8, 3, 4), number=2), 1.1)
     assert sums(zone) == {8: (3, 4)}
 
 
 def test_news_change_only_what_they_name(zone):
-    zone.take(share(work(7), work(8)), 1.0)
-    zone.take(share(work(8, 0, 0), number=2, is_whole=False), 1.1)
+    zone.take(make_report(work(7), work(8)), 1.0)
+    zone.take(make_report(work(8, 0, 0), number=2, is_whole=False), 1.1)
     assert sums(zone) == {7: (1, 1)}
 
 
 def test_a_message_that_was_overtaken_changes_nothing(zone):
-    zone.take(share(work(7, 5, 5), number=9), 1.0)
-    zone.take(share(work(7, 1, 1), number=8, is_whole=False), 1.1)
+    zone.take(make_report(work(7, 5, 5), number=9), 1.0)
+    zone.take(make_report(work(7, 1, 1), number=8, is_whole=False), 1.1)
     assert sums(zone) == {7: (5, 5)}
 
 
 def test_a_new_process_of_a_vm_starts_its_numbers_anew(zone):
-    zone.take(share(work(7), number=900), 1.0)
-    zone.take(share(work(8), number=1), 1.1)
+    zone.take(make_report(work(7), number=900), 1.0)
+    zone.take(make_report(work(8), number=1), 1.1)
     assert sums(zone) == {8: (1, 1)}
 
 
 def test_a_granted_flow_counts_until_its_vm_tells_of_it(zone):
     granted = zone.reserve("e2", 7, 1.0)
     assert sums(zone) == {7: (1, 1)}
-    zone.take(share(work(7), grant=granted.number), 1.05)
+    zone.take(make_report(work(7), grant=granted.number), 1.05)
     assert sums(zone) == {7: (1, 1)}
-    zone.take(share(number=2, grant=granted.number), 1.1)
+    zone.take(make_report(number=2, grant=granted.number), 1.1)
     assert sums(zone) == {}
 
 
@@ -78,7 +78,7 @@
 
 
 def test_a_vm_that_fell_silent_is_forgotten_with_its_work(zone):
-    zone.take(share(work(7)), 1.0)
+    zone.take(make_report(work(7)), 1.0)
     zone.remove_expired(2.5)
     assert sums(zone) == {7: (1, 1)}
     zone.remove_expired(2.7)
