--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -19,7 +19,7 @@
     return LoadShare(sender, number, is_whole, grant, server_loads)
 
 
-def work(token, busy=1, open_flows=1, is_avoided=False):
+def make_server_load(token, busy=1, open_flows=1, is_avoided=False):
     return ServerLoad(token, busy, open_flows, is_avoided)
 
 
@@ -31,39 +31,41 @@
 
 
 def test_work_is_summed_over_the_vms_that_tell(zone):
-    zone.take(make_report(work(7, 2, 5)), 1.0)
-    zone.take(make_report(work(7, 1, 1), work(8), sender="e3"), 1.0)
+    zone.take(make_report(make_server_load(7, 2, 5)), 1.0)
+    zone.take(
+        make_report(make_server_load(7, 1, 1), make_server_load(8), sender="e3"), 1.0
+    )
     assert sums(zone) == {7: (3, 6), 8: (1, 1)}
 
 
 def test_a_whole_message_replaces_all_that_was_told(zone):
-    zone.take(make_report(work(7), work(8)), 1.0)
-    zone.take(make_report(work(8, 3, 4), number=2), 1.1)
+    zone.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
+    zone.take(make_report(make_server_load(8, 3, 4), number=2), 1.1)
     assert sums(zone) == {8: (3, 4)}
 
 
 def test_news_change_only_what_they_name(zone):
-    zone.take(make_report(work(7), work(8)), 1.0)
-    zone.take(make_report(work(8, 0, 0), number=2, is_whole=False), 1.1)
+    zone.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
+    zone.take(make_report(make_server_load(8, 0, 0), number=2, is_whole=False), 1.1)
     assert sums(zone) == {7: (1, 1)}
 
 
 def test_a_message_that_was_overtaken_changes_nothing(zone):
-    zone.take(make_report(work(7, 5, 5), number=9), 1.0)
-    zone.take(make_report(work(7, 1, 1), number=8, is_whole=False), 1.1)
+    zone.take(make_report(make_server_load(7, 5, 5), number=9), 1.0)
+    zone.take(make_report(make_server_load(7, 1, 1), number=8, is_whole=False), 1.1)
     assert sums(zone) == {7: (5, 5)}
 
 
 def test_a_new_process_of_a_vm_starts_its_numbers_anew(zone):
-    zone.take(make_report(work(7), number=900), 1.0)
-    zone.take(make_report(work(8), number=1), 1.1)
+    zone.take(make_report(make_server_load(7), number=900), 1.0)
+    zone.take(make_report(make_server_load(8), number=1), 1.1)
     assert sums(zone) == {8: (1, 1)}
 
 
 def test_a_granted_flow_counts_until_its_vm_tells_of_it(zone):
     granted = zone.reserve("e2", 7, 1.0)
     assert sums(zone) == {7: (1, 1)}
-    zone.take(make_report(work(7), grant=granted.number), 1.05)
+    zone.take(make_report(make_server_load(7), grant=granted.number), 1.05)
     assert sums(zone) == {7: (1, 1)}
     zone.take(make_report(number=2, grant=granted.number), 1.1)
     assert sums(zone) == {}
@@ -78,7 +80,7 @@
 
 
 def test_a_vm_that_fell_silent_is_forgotten_with_its_work(zone):
-    zone.take(make_report(work(7)), 1.0)
+    zone.take(make_report(make_server_load(7)), 1.0)
     zone.remove_expired(2.5)
     assert sums(zone) == {7: (1, 1)}
     zone.remove_expired(2.7)
@@ -87,13 +89,25 @@
 
 def test_only_changes_are_told_until_all_is_due_again():
     telling = OutgoingReports()
-    first = telling.next_report("e1", 1, [work(7), work(8)], 1.0, 0.7)
+    first = telling.next_report(
+        "e1", 1, [make_server_load(7), make_server_load(8)], 1.0, 0.7
+    )
     assert first.is_complete and len(first.server_loads) == 2
-    assert telling.next_report("e1", 2, [work(7), work(8)], 1.1, 0.7) is None
-    news = telling.next_report("e1", 2, [work(7, 2, 2)], 1.2, 0.7)
-    assert set(news.server_loads) == {work(7, 2, 2), work(8, 0, 0)}
+    assert (
+        telling.next_report(
+            "e1", 2, [make_server_load(7), make_server_load(8)], 1.1, 0.7
+        )
+        is None
+    )
+    news = telling.next_report("e1", 2, [make_server_load(7, 2, 2)], 1.2, 0.7)
+    assert set(news.server_loads) == {
+        make_server_load(7, 2, 2),
+        make_server_load(8, 0, 0),
+    }
     assert not news.is_complete
-    assert telling.next_report("e1", 3, [work(7, 2, 2)], 1.8, 0.7).is_complete
+    assert telling.next_report(
+        "e1", 3, [make_server_load(7, 2, 2)], 1.8, 0.7
+    ).is_complete
 
 
 def test_a_grant_that_was_used_is_told_though_no_work_changed():
@@ -114,7 +128,7 @@
     now = 0.0
     for number, (state, is_lost) in enumerate(steps, 1):
         now += 0.05
-        told = [work(token, *pair) for token, pair in state.items()]
+        told = [make_server_load(token, *pair) for token, pair in state.items()]
         news = telling.next_report("e1", number, told, now, 0.7)
         if news is not None and not is_lost:
             zone.take(news, now)
