--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -23,7 +23,7 @@
     return ServerLoad(token, busy, open_flows, is_avoided)
 
 
-def sums(zone):
+def load_totals(zone):
     return {
         token: (one.active_requests, one.open_flows)
         for token, one in zone.totals.items()
@@ -35,56 +35,56 @@
     zone.take(
         make_report(make_server_load(7, 1, 1), make_server_load(8), sender="e3"), 1.0
     )
-    assert sums(zone) == {7: (3, 6), 8: (1, 1)}
+    assert load_totals(zone) == {7: (3, 6), 8: (1, 1)}
 
 
 def test_a_whole_message_replaces_all_that_was_told(zone):
     zone.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
     zone.take(make_report(make_server_load(8, 3, 4), number=2), 1.1)
-    assert sums(zone) == {8: (3, 4)}
+    assert load_totals(zone) == {8: (3, 4)}
 
 
 def test_news_change_only_what_they_name(zone):
     zone.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
     zone.take(make_report(make_server_load(8, 0, 0), number=2, is_whole=False), 1.1)
-    assert sums(zone) == {7: (1, 1)}
+    assert load_totals(zone) == {7: (1, 1)}
 
 
 def test_a_message_that_was_overtaken_changes_nothing(zone):
     zone.take(make_report(make_server_load(7, 5, 5), number=9), 1.0)
     zone.take(make_report(make_server_load(7, 1, 1), number=8, is_whole=False), 1.1)
-    assert sums(zone) == {7: (5, 5)}
+    assert load_totals(zone) == {7: (5, 5)}
 
 
 def test_a_new_process_of_a_vm_starts_its_numbers_anew(zone):
     zone.take(make_report(make_server_load(7), number=900), 1.0)
     zone.take(make_report(make_server_load(8), number=1), 1.1)
-    assert sums(zone) == {8: (1, 1)}
+    assert load_totals(zone) == {8: (1, 1)}
 
 
 def test_a_granted_flow_counts_until_its_vm_tells_of_it(zone):
     granted = zone.reserve("e2", 7, 1.0)
-    assert sums(zone) == {7: (1, 1)}
+    assert load_totals(zone) == {7: (1, 1)}
     zone.take(make_report(make_server_load(7), grant=granted.number), 1.05)
-    assert sums(zone) == {7: (1, 1)}
+    assert load_totals(zone) == {7: (1, 1)}
     zone.take(make_report(number=2, grant=granted.number), 1.1)
-    assert sums(zone) == {}
+    assert load_totals(zone) == {}
 
 
 def test_a_grant_that_came_to_nothing_counts_for_a_moment(zone):
     zone.reserve("e2", 7, 1.0)
     zone.remove_expired(1.4)
-    assert sums(zone) == {7: (1, 1)}
+    assert load_totals(zone) == {7: (1, 1)}
     zone.remove_expired(1.6)
-    assert sums(zone) == {}
+    assert load_totals(zone) == {}
 
 
 def test_a_vm_that_fell_silent_is_forgotten_with_its_work(zone):
     zone.take(make_report(make_server_load(7)), 1.0)
     zone.remove_expired(2.5)
-    assert sums(zone) == {7: (1, 1)}
+    assert load_totals(zone) == {7: (1, 1)}
     zone.remove_expired(2.7)
-    assert (sums(zone), zone.reporting_peers) == ({}, {})
+    assert (load_totals(zone), zone.reporting_peers) == ({}, {})
 
 
 def test_only_changes_are_told_until_all_is_due_again():
@@ -134,4 +134,6 @@
             zone.take(news, now)
     whole = telling.next_report("e1", len(steps) + 1, told, now + 0.7, 0.7)
     zone.take(whole, now + 0.7)
-    assert sums(zone) == {token: pair for token, pair in state.items() if any(pair)}
+    assert load_totals(zone) == {
+        token: pair for token, pair in state.items() if any(pair)
+    }
