--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -11,7 +11,7 @@
 
 
 @pytest.fixture
-def zone():
+def peer_load():
     return PeerLoad(SETTINGS)
 
 
@@ -23,68 +23,72 @@
     return ServerLoad(token, busy, open_flows, is_avoided)
 
 
-def load_totals(zone):
+def load_totals(peer_load):
     return {
         token: (one.active_requests, one.open_flows)
-        for token, one in zone.totals.items()
+        for token, one in peer_load.totals.items()
     }
 
 
-def test_work_is_summed_over_the_vms_that_tell(zone):
-    zone.take(make_report(make_server_load(7, 2, 5)), 1.0)
-    zone.take(
+def test_work_is_summed_over_the_vms_that_tell(peer_load):
+    peer_load.take(make_report(make_server_load(7, 2, 5)), 1.0)
+    peer_load.take(
         make_report(make_server_load(7, 1, 1), make_server_load(8), sender="e3"), 1.0
     )
-    assert load_totals(zone) == {7: (3, 6), 8: (1, 1)}
+    assert load_totals(peer_load) == {7: (3, 6), 8: (1, 1)}
 
 
-def test_a_whole_message_replaces_all_that_was_told(zone):
-    zone.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
-    zone.take(make_report(make_server_load(8, 3, 4), number=2), 1.1)
-    assert load_totals(zone) == {8: (3, 4)}
+def test_a_whole_message_replaces_all_that_was_told(peer_load):
+    peer_load.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
+    peer_load.take(make_report(make_server_load(8, 3, 4), number=2), 1.1)
+    assert load_totals(peer_load) == {8: (3, 4)}
 
 
-def test_news_change_only_what_they_name(zone):
-    zone.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
-    zone.take(make_report(make_server_load(8, 0, 0), number=2, is_whole=False), 1.1)
-    assert load_totals(zone) == {7: (1, 1)}
+def test_news_change_only_what_they_name(peer_load):
+    peer_load.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
+    peer_load.take(
+        make_report(make_server_load(8, 0, 0), number=2, is_whole=False), 1.1
+    )
+    assert load_totals(peer_load) == {7: (1, 1)}
 
 
-def test_a_message_that_was_overtaken_changes_nothing(zone):
-    zone.take(make_report(make_server_load(7, 5, 5), number=9), 1.0)
-    zone.take(make_report(make_server_load(7, 1, 1), number=8, is_whole=False), 1.1)
-    assert load_totals(zone) == {7: (5, 5)}
+def test_a_message_that_was_overtaken_changes_nothing(peer_load):
+    peer_load.take(make_report(make_server_load(7, 5, 5), number=9), 1.0)
+    peer_load.take(
+        make_report(make_server_load(7, 1, 1), number=8, is_whole=False), 1.1
+    )
+    assert load_totals(peer_load) == {7: (5, 5)}
 
 
-def test_a_new_process_of_a_vm_starts_its_numbers_anew(zone):
-    zone.take(make_report(make_server_load(7), number=900), 1.0)
-    zone.take(make_report(make_server_load(8), number=1), 1.1)
-    assert load_totals(zone) == {8: (1, 1)}
+def test_a_new_process_of_a_vm_starts_its_numbers_anew(peer_load):
+    peer_load.take(make_report(make_server_load(7), number=900), 1.0)
+    peer_load.take(make_report(make_server_load(8), number=1), 1.1)
+    assert load_totals(peer_load) == {8: (1, 1)}
 
 
-def test_a_granted_flow_counts_until_its_vm_tells_of_it(zone):
-    granted = zone.reserve("e2", 7, 1.0)
-    assert load_totals(zone) == {7: (1, 1)}
-    zone.take(make_report(make_server_load(7), grant=granted.number), 1.05)
-    assert load_totals(zone) == {7: (1, 1)}
-    zone.take(make_report(number=2, grant=granted.number), 1.1)
-    assert load_totals(zone) == {}
+def test_a_granted_flow_counts_until_its_vm_tells_of_it(peer_load):
+    granted = peer_load.reserve("e2", 7, 1.0)
+    assert load_totals(peer_load) == {7: (1, 1)}
+    peer_load.take(make_report(make_server_load(7), grant=granted.number), 1.05)
+    assert load_totals(peer_load) == {7: (1, 1)}
+    peer_load.take(make_report(number=2, grant=granted.number), 1.1)
+    assert load_totals(peer_load) == {}
 
 
-def test_a_grant_that_came_to_nothing_counts_for_a_moment(zone):
-    zone.reserve("e2", 7, 1.0)
-    zone.remove_expired(1.4)
-    assert load_totals(zone) == {7: (1, 1)}
-    zone.remove_expired(1.6)
-    assert load_totals(zone) == {}
+def test_a_grant_that_came_to_nothing_counts_for_a_moment(peer_load):
+    peer_load.reserve("e2", 7, 1.0)
+    peer_load.remove_expired(1.4)
+    assert load_totals(peer_load) == {7: (1, 1)}
+    peer_load.remove_expired(1.6)
+    assert load_totals(peer_load) == {}
 
 
-def test_a_vm_that_fell_silent_is_forgotten_with_its_work(zone):
-    zone.take(make_report(make_server_load(7)), 1.0)
-    zone.remove_expired(2.5)
-    assert load_totals(zone) == {7: (1, 1)}
-    zone.remove_expired(2.7)
-    assert (load_totals(zone), zone.reporting_peers) == ({}, {})
+def test_a_vm_that_fell_silent_is_forgotten_with_its_work(peer_load):
+    peer_load.take(make_report(make_server_load(7)), 1.0)
+    peer_load.remove_expired(2.5)
+    assert load_totals(peer_load) == {7: (1, 1)}
+    peer_load.remove_expired(2.7)
+    assert (load_totals(peer_load), peer_load.reporting_peers) == ({}, {})
 
 
 def test_only_changes_are_told_until_all_is_due_again():
@@ -124,16 +128,16 @@
 
 @given(st.lists(st.tuples(states, st.booleans()), min_size=1, max_size=12))
 def test_whatever_gets_lost_the_next_whole_message_mends(steps):
-    zone, telling = PeerLoad(SETTINGS), OutgoingReports()
+    peer_load, telling = PeerLoad(SETTINGS), OutgoingReports()
     now = 0.0
     for number, (state, is_lost) in enumerate(steps, 1):
         now += 0.05
         told = [make_server_load(token, *pair) for token, pair in state.items()]
         news = telling.next_report("e1", number, told, now, 0.7)
         if news is not None and not is_lost:
-            zone.take(news, now)
+            peer_load.take(news, now)
     whole = telling.next_report("e1", len(steps) + 1, told, now + 0.7, 0.7)
-    zone.take(whole, now + 0.7)
-    assert load_totals(zone) == {
+    peer_load.take(whole, now + 0.7)
+    assert load_totals(peer_load) == {
         token: pair for token, pair in state.items() if any(pair)
     }
