--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -25,8 +25,8 @@
 
 def load_totals(peer_load):
     return {
-        token: (one.active_requests, one.open_flows)
-        for token, one in peer_load.totals.items()
+        token: (total.active_requests, total.open_flows)
+        for token, total in peer_load.totals.items()
     }
 
 
