--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -67,11 +67,11 @@
 
 
 def test_a_granted_flow_counts_until_its_vm_tells_of_it(peer_load):
-    granted = peer_load.reserve("e2", 7, 1.0)
+    reservation = peer_load.reserve("e2", 7, 1.0)
     assert load_totals(peer_load) == {7: (1, 1)}
-    peer_load.take(make_report(make_server_load(7), grant=granted.number), 1.05)
+    peer_load.take(make_report(make_server_load(7), grant=reservation.number), 1.05)
     assert load_totals(peer_load) == {7: (1, 1)}
-    peer_load.take(make_report(number=2, grant=granted.number), 1.1)
+    peer_load.take(make_report(number=2, grant=reservation.number), 1.1)
     assert load_totals(peer_load) == {}
 
 
