Rename telling to reports

Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_work.py * telling reports

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -92,34 +92,34 @@
 
 
 def test_only_changes_are_told_until_all_is_due_again():
-    telling = OutgoingReports()
-    first = telling.next_report(
+    reports = OutgoingReports()
+    first = reports.next_report(
         "e1", 1, [make_server_load(7), make_server_load(8)], 1.0, 0.7
     )
     assert first.is_complete and len(first.server_loads) == 2
     assert (
-        telling.next_report(
+        reports.next_report(
             "e1", 2, [make_server_load(7), make_server_load(8)], 1.1, 0.7
         )
         is None
     )
-    news = telling.next_report("e1", 2, [make_server_load(7, 2, 2)], 1.2, 0.7)
+    news = reports.next_report("e1", 2, [make_server_load(7, 2, 2)], 1.2, 0.7)
     assert set(news.server_loads) == {
         make_server_load(7, 2, 2),
         make_server_load(8, 0, 0),
     }
     assert not news.is_complete
-    assert telling.next_report(
+    assert reports.next_report(
         "e1", 3, [make_server_load(7, 2, 2)], 1.8, 0.7
     ).is_complete
 
 
 def test_a_grant_that_was_used_is_told_though_no_work_changed():
-    telling = OutgoingReports()
-    telling.next_report("e1", 1, [], 1.0, 0.7)
-    telling.used_reservation = 4
-    assert telling.next_report("e1", 2, [], 1.1, 0.7).included_reservation == 4
-    assert telling.next_report("e1", 3, [], 1.2, 0.7) is None
+    reports = OutgoingReports()
+    reports.next_report("e1", 1, [], 1.0, 0.7)
+    reports.used_reservation = 4
+    assert reports.next_report("e1", 2, [], 1.1, 0.7).included_reservation == 4
+    assert reports.next_report("e1", 3, [], 1.2, 0.7) is None
 
 
 counts = st.integers(0, 3)
@@ -128,15 +128,15 @@
 
 @given(st.lists(st.tuples(states, st.booleans()), min_size=1, max_size=12))
 def test_whatever_gets_lost_the_next_whole_message_mends(steps):
-    peer_load, telling = PeerLoad(SETTINGS), OutgoingReports()
+    peer_load, reports = PeerLoad(SETTINGS), OutgoingReports()
     now = 0.0
     for number, (state, is_lost) in enumerate(steps, 1):
         now += 0.05
         told = [make_server_load(token, *pair) for token, pair in state.items()]
-        news = telling.next_report("e1", number, told, now, 0.7)
+        news = reports.next_report("e1", number, told, now, 0.7)
         if news is not None and not is_lost:
             peer_load.take(news, now)
-    whole = telling.next_report("e1", len(steps) + 1, told, now + 0.7, 0.7)
+    whole = reports.next_report("e1", len(steps) + 1, told, now + 0.7, 0.7)
     peer_load.take(whole, now + 0.7)
     assert load_totals(peer_load) == {
         token: pair for token, pair in state.items() if any(pair)
