--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -103,12 +103,12 @@
         )
         is None
     )
-    news = reports.next_report("e1", 2, [make_server_load(7, 2, 2)], 1.2, 0.7)
-    assert set(news.server_loads) == {
+    report = reports.next_report("e1", 2, [make_server_load(7, 2, 2)], 1.2, 0.7)
+    assert set(report.server_loads) == {
         make_server_load(7, 2, 2),
         make_server_load(8, 0, 0),
     }
-    assert not news.is_complete
+    assert not report.is_complete
     assert reports.next_report(
         "e1", 3, [make_server_load(7, 2, 2)], 1.8, 0.7
     ).is_complete
@@ -133,9 +133,9 @@
     for number, (state, is_lost) in enumerate(steps, 1):
         now += 0.05
         told = [make_server_load(token, *pair) for token, pair in state.items()]
-        news = reports.next_report("e1", number, told, now, 0.7)
-        if news is not None and not is_lost:
-            peer_load.take(news, now)
+        report = reports.next_report("e1", number, told, now, 0.7)
+        if report is not None and not is_lost:
+            peer_load.take(report, now)
     whole = reports.next_report("e1", len(steps) + 1, told, now + 0.7, 0.7)
     peer_load.take(whole, now + 0.7)
     assert load_totals(peer_load) == {
