--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -93,10 +93,10 @@
 
 def test_only_changes_are_told_until_all_is_due_again():
     reports = OutgoingReports()
-    first = reports.next_report(
+    first_report = reports.next_report(
         "e1", 1, [make_server_load(7), make_server_load(8)], 1.0, 0.7
     )
-    assert first.is_complete and len(first.server_loads) == 2
+    assert first_report.is_complete and len(first_report.server_loads) == 2
     assert (
         reports.next_report(
             "e1", 2, [make_server_load(7), make_server_load(8)], 1.1, 0.7
