--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -136,8 +136,8 @@
         report = reports.next_report("e1", number, told, now, 0.7)
         if report is not None and not is_lost:
             peer_load.take(report, now)
-    whole = reports.next_report("e1", len(steps) + 1, told, now + 0.7, 0.7)
-    peer_load.take(whole, now + 0.7)
+    complete_report = reports.next_report("e1", len(steps) + 1, told, now + 0.7, 0.7)
+    peer_load.take(complete_report, now + 0.7)
     assert load_totals(peer_load) == {
         token: pair for token, pair in state.items() if any(pair)
     }
