Rename counts to load_counts

Strategy for counts of requests or flows. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_work.py * counts load_counts

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -122,8 +122,10 @@
     assert reports.next_report("e1", 3, [], 1.2, 0.7) is None
 
 
-counts = st.integers(0, 3)
-states = st.dictionaries(st.integers(1, 5), st.tuples(counts, counts), max_size=5)
+load_counts = st.integers(0, 3)
+states = st.dictionaries(
+    st.integers(1, 5), st.tuples(load_counts, load_counts), max_size=5
+)
 
 
 @given(st.lists(st.tuples(states, st.booleans()), min_size=1, max_size=12))
