Rename states to load_states

Strategy for the load by token. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_work.py * states load_states

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -123,12 +123,12 @@
 
 
 load_counts = st.integers(0, 3)
-states = st.dictionaries(
+load_states = st.dictionaries(
     st.integers(1, 5), st.tuples(load_counts, load_counts), max_size=5
 )
 
 
-@given(st.lists(st.tuples(states, st.booleans()), min_size=1, max_size=12))
+@given(st.lists(st.tuples(load_states, st.booleans()), min_size=1, max_size=12))
 def test_whatever_gets_lost_the_next_whole_message_mends(steps):
     peer_load, reports = PeerLoad(SETTINGS), OutgoingReports()
     now = 0.0
