--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -134,12 +134,14 @@
     now = 0.0
     for number, (load_state, is_lost) in enumerate(steps, 1):
         now += 0.05
-        loads = [make_server_load(token, *pair) for token, pair in load_state.items()]
+        loads = [
+            make_server_load(token, *counts) for token, counts in load_state.items()
+        ]
         report = reports.next_report("e1", number, loads, now, 0.7)
         if report is not None and not is_lost:
             peer_load.take(report, now)
     complete_report = reports.next_report("e1", len(steps) + 1, loads, now + 0.7, 0.7)
     peer_load.take(complete_report, now + 0.7)
     assert load_totals(peer_load) == {
-        token: pair for token, pair in load_state.items() if any(pair)
+        token: counts for token, counts in load_state.items() if any(counts)
     }
