--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -30,7 +30,7 @@
     }
 
 
-def test_work_is_summed_over_the_vms_that_tell(peer_load):
+def test_load_is_summed_over_the_reporting_vms(peer_load):
     peer_load.take(make_report(make_server_load(7, 2, 5)), 1.0)
     peer_load.take(
         make_report(make_server_load(7, 1, 1), make_server_load(8), sender="e3"), 1.0
