Rename test_a_whole_message_replaces_all_that_was_told to test_complete_report_replaces_the_earlier_load

Usual terms for what the test checks.

Rename: test_work.py * test_a_whole_message_replaces_all_that_was_told test_complete_report_replaces_the_earlier_load

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -38,7 +38,7 @@
     assert load_totals(peer_load) == {7: (3, 6), 8: (1, 1)}
 
 
-def test_a_whole_message_replaces_all_that_was_told(peer_load):
+def test_complete_report_replaces_the_earlier_load(peer_load):
     peer_load.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
     peer_load.take(make_report(make_server_load(8, 3, 4), number=2), 1.1)
     assert load_totals(peer_load) == {8: (3, 4)}
