--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -44,7 +44,7 @@
     assert load_totals(peer_load) == {8: (3, 4)}
 
 
-def test_news_change_only_what_they_name(peer_load):
+def test_incremental_report_changes_only_the_listed_servers(peer_load):
     peer_load.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
     peer_load.take(
         make_report(make_server_load(8, 0, 0), number=2, is_whole=False), 1.1
