--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -52,7 +52,7 @@
     assert load_totals(peer_load) == {7: (1, 1)}
 
 
-def test_a_message_that_was_overtaken_changes_nothing(peer_load):
+def test_overtaken_report_is_ignored(peer_load):
     peer_load.take(make_report(make_server_load(7, 5, 5), number=9), 1.0)
     peer_load.take(
         make_report(make_server_load(7, 1, 1), number=8, is_whole=False), 1.1
