Rename test_a_new_process_of_a_vm_starts_its_numbers_anew to test_restarted_process_may_restart_its_report_numbers

Usual terms for what the test checks.

Rename: test_work.py * test_a_new_process_of_a_vm_starts_its_numbers_anew test_restarted_process_may_restart_its_report_numbers

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -60,7 +60,7 @@
     assert load_totals(peer_load) == {7: (5, 5)}
 
 
-def test_a_new_process_of_a_vm_starts_its_numbers_anew(peer_load):
+def test_restarted_process_may_restart_its_report_numbers(peer_load):
     peer_load.take(make_report(make_server_load(7), number=900), 1.0)
     peer_load.take(make_report(make_server_load(8), number=1), 1.1)
     assert load_totals(peer_load) == {8: (1, 1)}
