--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -66,7 +66,7 @@
     assert load_totals(peer_load) == {8: (1, 1)}
 
 
-def test_a_granted_flow_counts_until_its_vm_tells_of_it(peer_load):
+def test_reservation_counts_until_a_report_includes_it(peer_load):
     reservation = peer_load.reserve("e2", 7, 1.0)
     assert load_totals(peer_load) == {7: (1, 1)}
     peer_load.take(make_report(make_server_load(7), grant=reservation.number), 1.05)
