Rename test_a_grant_that_came_to_nothing_counts_for_a_moment to test_unused_reservation_expires

Usual terms for what the test checks.

Rename: test_work.py * test_a_grant_that_came_to_nothing_counts_for_a_moment test_unused_reservation_expires

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -75,7 +75,7 @@
     assert load_totals(peer_load) == {}
 
 
-def test_a_grant_that_came_to_nothing_counts_for_a_moment(peer_load):
+def test_unused_reservation_expires(peer_load):
     peer_load.reserve("e2", 7, 1.0)
     peer_load.remove_expired(1.4)
     assert load_totals(peer_load) == {7: (1, 1)}
