--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -83,7 +83,7 @@
     assert load_totals(peer_load) == {}
 
 
-def test_a_vm_that_fell_silent_is_forgotten_with_its_work(peer_load):
+def test_silent_vm_is_removed_with_its_load(peer_load):
     peer_load.take(make_report(make_server_load(7)), 1.0)
     peer_load.remove_expired(2.5)
     assert load_totals(peer_load) == {7: (1, 1)}
