Rename test_only_changes_are_told_until_all_is_due_again to test_reports_are_incremental_until_a_complete_one_is_due

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_work.py * test_only_changes_are_told_until_all_is_due_again test_reports_are_incremental_until_a_complete_one_is_due

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -91,7 +91,7 @@
     assert (load_totals(peer_load), peer_load.reporting_peers) == ({}, {})
 
 
-def test_only_changes_are_told_until_all_is_due_again():
+def test_reports_are_incremental_until_a_complete_one_is_due():
     reports = OutgoingReports()
     first_report = reports.next_report(
         "e1", 1, [make_server_load(7), make_server_load(8)], 1.0, 0.7
