--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -114,7 +114,7 @@
     ).is_complete
 
 
-def test_a_grant_that_was_used_is_told_though_no_work_changed():
+def test_used_reservation_is_reported_without_load_changes():
     reports = OutgoingReports()
     reports.next_report("e1", 1, [], 1.0, 0.7)
     reports.used_reservation = 4
