Rename test_whatever_gets_lost_the_next_whole_message_mends to test_complete_report_corrects_lost_reports

Usual terms for what the test checks. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_work.py * test_whatever_gets_lost_the_next_whole_message_mends test_complete_report_corrects_lost_reports

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -129,7 +129,7 @@
 
 
 @given(st.lists(st.tuples(load_states, st.booleans()), min_size=1, max_size=12))
-def test_whatever_gets_lost_the_next_whole_message_mends(steps):
+def test_complete_report_corrects_lost_reports(steps):
     peer_load, reports = PeerLoad(SETTINGS), OutgoingReports()
     now = 0.0
     for number, (load_state, is_lost) in enumerate(steps, 1):
