Rename known_at to first_known_at

Same name as the field that it fills. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: server_directory.py store_record known_at first_known_at

--- a/libs/tokens/src/kumquatmux_tokens/server_directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_directory.py
@@ -57,9 +57,9 @@
         ended_at = known_entry.ended_at if known_entry and is_ended else None
         if is_ended and ended_at is None:
             ended_at = now
-        known_at = known_entry.first_known_at if known_entry else now
+        first_known_at = known_entry.first_known_at if known_entry else now
         warm_at = now + record.report.warm_up_s
-        self._store(token, ServerEntry(record, known_at, ended_at, warm_at))
+        self._store(token, ServerEntry(record, first_known_at, ended_at, warm_at))
 
     def running_servers(self, service: ServiceName) -> list[ServerEntry]:
         """Return the lifetimes of a service that have not ended."""
