Rename warm_at to warm_up_ends_at

Same name as the field that it fills. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: server_directory.py store_record warm_at warm_up_ends_at

--- a/libs/tokens/src/kumquatmux_tokens/server_directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_directory.py
@@ -58,8 +58,10 @@
         if is_ended and ended_at is None:
             ended_at = now
         first_known_at = known_entry.first_known_at if known_entry else now
-        warm_at = now + record.report.warm_up_s
-        self._store(token, ServerEntry(record, first_known_at, ended_at, warm_at))
+        warm_up_ends_at = now + record.report.warm_up_s
+        self._store(
+            token, ServerEntry(record, first_known_at, ended_at, warm_up_ends_at)
+        )
 
     def running_servers(self, service: ServiceName) -> list[ServerEntry]:
         """Return the lifetimes of a service that have not ended."""
