Rename flow to flow_key

The key of a flow. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: placers.py record_request+is_pending+record_answer+remove_expired flow flow_key

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -113,36 +113,36 @@
                 return vm
         return own_vm
 
-    def record_request(self, vm: VmId, flow: bytes, now: float) -> None:
+    def record_request(self, vm: VmId, flow_key: bytes, now: float) -> None:
         """Record that a placement request was sent."""
-        self.pending_requests[flow] = PendingRequest(vm, now)
+        self.pending_requests[flow_key] = PendingRequest(vm, now)
 
-    def is_pending(self, flow: bytes, now: float) -> bool:
+    def is_pending(self, flow_key: bytes, now: float) -> bool:
         """Return whether an answer to a flow's placement request may still come.
 
         A request that has timed out is removed, and the VM that was asked is avoided
         for a while.
         """
-        request = self.pending_requests.get(flow)
+        request = self.pending_requests.get(flow_key)
         if request is None:
             return False
         if now - request.sent_at < self.settings.placement_timeout_s:
             return True
-        del self.pending_requests[flow]
+        del self.pending_requests[flow_key]
         self._start_backoff(request, now)
         return False
 
-    def record_answer(self, vm: VmId, flow: bytes) -> None:
+    def record_answer(self, vm: VmId, flow_key: bytes) -> None:
         """Record an answer to a placement request and end the VM's backoff."""
         self.backoffs.pop(vm, None)
-        request = self.pending_requests.get(flow)
+        request = self.pending_requests.get(flow_key)
         if request is not None and request.vm == vm:
-            del self.pending_requests[flow]
+            del self.pending_requests[flow_key]
 
     def remove_expired(self, now: float) -> None:
         """Remove placement requests that have timed out."""
-        for flow in list(self.pending_requests):
-            self.is_pending(flow, now)
+        for flow_key in list(self.pending_requests):
+            self.is_pending(flow_key, now)
 
     def _start_backoff(self, request: PendingRequest, now: float) -> None:
         backoff = self.backoffs.setdefault(request.vm, Backoff())
