--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -99,12 +99,12 @@
 
     def due(self, now: float) -> list[Held]:
         """Drop packets whose callers no longer wait; return the other packets."""
-        for flow, packet in list(self.by_flow.items()):
+        for flow_key, packet in list(self.by_flow.items()):
             if packet.expires_at <= now:
-                log_decision("opening-given-up", flow=flow.hex())
-                del self.by_flow[flow]
+                log_decision("opening-given-up", flow=flow_key.hex())
+                del self.by_flow[flow_key]
         return list(self.by_flow.values())
 
-    def remove(self, flow: bytes) -> None:
+    def remove(self, flow_key: bytes) -> None:
         """Remove the SYN packet of a flow."""
-        self.by_flow.pop(flow, None)
+        self.by_flow.pop(flow_key, None)
