--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -95,10 +95,10 @@
         self.backoffs: dict[VmId, Backoff] = {}
         self.pending_requests: dict[bytes, PendingRequest] = {}
 
-    def set_peers(self, peers: tuple[VmId, ...]) -> None:
+    def set_peers(self, entry_vms: tuple[VmId, ...]) -> None:
         """Set the entry VMs of the zone."""
-        if peers != self.entry_vms:
-            self.entry_vms = peers
+        if entry_vms != self.entry_vms:
+            self.entry_vms = entry_vms
             self.rankings.clear()
 
     def placer(self, service: ServiceName, now: float) -> VmId:
