Rename names to ranked_names

Names in order of preference. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: placers.py _ranking names ranked_names

--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -159,6 +159,6 @@
     def _ranking(self, service: ServiceName) -> list[VmId]:
         ranking = self.rankings.get(service)
         if ranking is None:
-            names = rendezvous.rank(service.encode(), self.entry_vms)
-            ranking = self.rankings[service] = [VmId(name) for name in names]
+            ranked_names = rendezvous.rank(service.encode(), self.entry_vms)
+            ranking = self.rankings[service] = [VmId(name) for name in ranked_names]
         return ranking
