--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -34,14 +34,14 @@
     address: Address
     shares: tuple[Share, ...]
 
-    def select_service(self, flow: bytes) -> ServiceName:
+    def select_service(self, flow_key: bytes) -> ServiceName:
         """Return the service of a flow, which is the same for every SYN of the flow.
 
         Raises:
             AssertionError: No service has a weight above 0.
         """
         total = sum(share.weight for share in self.shares)
-        point = xxhash.xxh3_64_intdigest(flow) % total
+        point = xxhash.xxh3_64_intdigest(flow_key) % total
         for share in self.shares:
             if point < share.weight:
                 return share.service
