Rename total to total_weight

Sum of the weights. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: routes.py select_service total total_weight

--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -40,8 +40,8 @@
         Raises:
             AssertionError: No service has a weight above 0.
         """
-        total = sum(share.weight for share in self.shares)
-        point = xxhash.xxh3_64_intdigest(flow_key) % total
+        total_weight = sum(share.weight for share in self.shares)
+        point = xxhash.xxh3_64_intdigest(flow_key) % total_weight
         for share in self.shares:
             if point < share.weight:
                 return share.service
