Rename route to route_address

Address and port of a route. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: load_tracker.py expects_many_requests route route_address

--- a/libs/tokens/src/kumquatmux_tokens/load_tracker.py
+++ b/libs/tokens/src/kumquatmux_tokens/load_tracker.py
@@ -126,10 +126,10 @@
             load = self.local_loads[token] = LocalLoad()
         return load
 
-    def expects_many_requests(self, route: bytes) -> bool:
+    def expects_many_requests(self, route_address: bytes) -> bool:
         """Return whether the flows of a route are likely to carry many requests."""
         return (
-            self.follow_up_share.get(route, 0.0)
+            self.follow_up_share.get(route_address, 0.0)
             > self.settings.follow_up_share_threshold
         )
 
