Rename kept to remaining

Reservations that remain. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: work.py _release_reservations kept remaining

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -181,7 +181,7 @@
     def _release_reservations(
         self, peer: ReportingPeer, included_reservation: int, now: float
     ) -> None:
-        kept = []
+        remaining = []
         for reservation in peer.reservations:
             if (
                 reservation.number <= included_reservation
@@ -189,8 +189,8 @@
             ):
                 self._add_to_total(reservation.token, -1, -1, 0)
             else:
-                kept.append(reservation)
-        peer.reservations = kept
+                remaining.append(reservation)
+        peer.reservations = remaining
 
     def _add_to_total(
         self, token: int, active_requests: int, open_flows: int, avoiding_vms: int
