Rename before to limit

Lifetimes that ended before this time are removed. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: server_directory.py remove_ended before limit

--- a/libs/tokens/src/kumquatmux_tokens/server_directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_directory.py
@@ -77,10 +77,10 @@
         )
         return entry if accepts_flows else None
 
-    def remove_ended(self, before: float) -> None:
+    def remove_ended(self, limit: float) -> None:
         """Remove lifetimes that ended before a given time."""
         for token, entry in list(self.by_token.items()):
-            if entry.ended_at is not None and entry.ended_at < before:
+            if entry.ended_at is not None and entry.ended_at < limit:
                 del self.by_token[token]
                 self.colliding_tokens.discard(token)
                 name = entry.record.report.lifetime.name
