Rename one to entry

The variable holds a directory entry. Made by hand for single comprehensions; behaviour is unchanged.

Rename: server_selection.py router.py one entry

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -244,7 +244,7 @@
         entries = self.directory.running_servers(service)
         if colliding_tokens:
             entries = [
-                one for one in entries if one.record.token not in colliding_tokens
+                entry for entry in entries if entry.record.token not in colliding_tokens
             ]
         return select_server(entries, new_flow, self.load, self.random)
 
--- a/libs/tokens/src/kumquatmux_tokens/server_selection.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_selection.py
@@ -96,22 +96,27 @@
     Returns:
         The selection, or None if no server is eligible.
     """
-    ready_entries = [one for one in entries if one.record.report.phase == Phase.READY]
+    ready_entries = [
+        entry for entry in entries if entry.record.report.phase == Phase.READY
+    ]
     if not ready_entries:
         return None
     zone = load.settings.zone
-    local_entries = [one for one in ready_entries if one.record.report.zone == zone]
+    local_entries = [
+        entry for entry in ready_entries if entry.record.report.zone == zone
+    ]
     candidates = [
-        _evaluate_candidate(one, flow, load, random.random()) for one in local_entries
+        _evaluate_candidate(entry, flow, load, random.random())
+        for entry in local_entries
     ]
     best = min(candidates, key=_sort_key, default=None)
     if best is None or not _beats_other_zones(best, load):
         remote_entries = (
-            one for one in ready_entries if one.record.report.zone != zone
+            entry for entry in ready_entries if entry.record.report.zone != zone
         )
         candidates += [
-            _evaluate_candidate(one, flow, load, random.random())
-            for one in remote_entries
+            _evaluate_candidate(entry, flow, load, random.random())
+            for entry in remote_entries
         ]
         best = min(candidates, key=_sort_key)
     candidate_count = sum(
