--- a/libs/tokens/src/kumquatmux_tokens/server_selection.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_selection.py
@@ -120,7 +120,7 @@
         ]
         best = min(candidates, key=_sort_key)
     candidate_count = sum(
-        1 for one in candidates if one.priority_level == best.priority_level
+        1 for candidate in candidates if candidate.priority_level == best.priority_level
     )
     return Selection(
         best.entry, best.cost, candidate_count, best.priority_level, best.is_full
