--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -130,11 +130,11 @@
         peer.last_report_number = report.number
         peer.last_report_at = now
         if report.is_complete:
-            listed_tokens = {one.token for one in report.server_loads}
+            listed_tokens = {load.token for load in report.server_loads}
             for token in [one for one in peer.server_loads if one not in listed_tokens]:
                 self._replace_load(peer, ServerLoad(token, 0, 0, False))
-        for one in report.server_loads:
-            self._replace_load(peer, one)
+        for load in report.server_loads:
+            self._replace_load(peer, load)
         self._release_reservations(peer, report.included_reservation, now)
 
     def reserve(self, vm: VmId, token: int, now: float) -> Reservation:
@@ -240,7 +240,7 @@
             complete_interval_s: Seconds between complete reports, which make up for
                 lost ones.
         """
-        current_loads = {one.token: one for one in server_loads}
+        current_loads = {load.token: load for load in server_loads}
         is_complete = now - self.last_complete_at >= complete_interval_s
         if is_complete:
             self.last_complete_at = now
@@ -251,9 +251,9 @@
                 for one in self.reported_loads.keys() - current_loads
             ]
             changed = [
-                one
-                for token, one in current_loads.items()
-                if self.reported_loads.get(token) != one
+                load
+                for token, load in current_loads.items()
+                if self.reported_loads.get(token) != load
             ]
             reported = (*changed, *removed)
         self.reported_loads = current_loads
