--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -131,7 +131,9 @@
         peer.last_report_at = now
         if report.is_complete:
             listed_tokens = {load.token for load in report.server_loads}
-            for token in [one for one in peer.server_loads if one not in listed_tokens]:
+            for token in [
+                token for token in peer.server_loads if token not in listed_tokens
+            ]:
                 self._replace_load(peer, ServerLoad(token, 0, 0, False))
         for load in report.server_loads:
             self._replace_load(peer, load)
@@ -247,8 +249,8 @@
             reported = tuple(current_loads.values())
         else:
             removed = [
-                ServerLoad(one, 0, 0, False)
-                for one in self.reported_loads.keys() - current_loads
+                ServerLoad(token, 0, 0, False)
+                for token in self.reported_loads.keys() - current_loads
             ]
             changed = [
                 load
