State the order of server selection and the report numbers exactly

The doc comments left out that full queues come before the level, and where a step back counts as a restart. They now say what the code does.

--- a/libs/tokens/src/kumquatmux_tokens/load_tracker.py
+++ b/libs/tokens/src/kumquatmux_tokens/load_tracker.py
@@ -120,7 +120,7 @@
         self.latencies = Latencies()
 
     def local_load_at(self, token: int) -> LocalLoad:
-        """Return the load on a server."""
+        """Return the load that flows through this VM put on a server."""
         load = self.local_loads.get(token)
         if load is None:
             load = self.local_loads[token] = LocalLoad()
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -39,7 +39,7 @@
         load: Load on each server.
         held: Packets that are buffered while their token is looked up.
         waiting: SYN packets that are buffered until a server can take their flow.
-        placers: Selects the VM that places the flows of each service.
+        placers: Selects the placement coordinator of each service.
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
         last_served_at: Time when each service last had a server for a flow.
@@ -255,7 +255,7 @@
         """Return the load to report to each other VM.
 
         In a zone with more than ``full_reporting_max_vms`` entry VMs, the load on a
-        server is reported only to the VM that places the flows of its service.
+        server is reported only to the placement coordinator of its service.
         """
         loads = self.load.reportable_loads(now)
         receivers = [vm for vm in self.placers.entry_vms if vm != self.settings.vm]
--- a/libs/tokens/src/kumquatmux_tokens/server_selection.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_selection.py
@@ -81,11 +81,12 @@
         3: Its reports are overdue.
         4: A SYN packet of this flow was already sent to it.
 
-    Among servers of equal level, the one with the lowest load per slot is selected. For
-    a flow with many requests, the requests in progress count less, so that the number
-    of open flows counts more. Servers of other zones are evaluated only if the best
-    server of this zone has a level above 0, is full, or costs more than
-    ``remote_zone_cost``.
+    Servers of level 2 or higher are a last resort. Among the other servers, and among
+    those of last resort, a server whose queue is not full comes first, then a lower
+    level, then a lower load per slot. For a flow with many requests, requests in
+    progress count less, so that the number of open flows counts more. Servers of other
+    zones are evaluated only if the best server of this zone has a level above 0, is
+    full, or costs more than ``remote_zone_cost``.
 
     Args:
         entries: Servers of the service.
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -23,8 +23,9 @@
             discarded; longer than the interval between complete reports.
         complete_report_interval_s: Seconds between complete load reports, which make up
             for lost ones.
-        max_report_reordering: Report numbers by which an overtaken report may be
-            behind; a larger step back means that the sender has restarted.
+        max_report_reordering: Number of report numbers behind the latest from which a
+            report is taken to come from a restarted sender; a report that is less far
+            behind was overtaken and is ignored.
         full_reporting_max_vms: Largest number of entry VMs in a zone at which each
             reports its whole load to all others; in a larger zone only placement
             coordinators get reports.
