--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -15,8 +15,8 @@
     return PeerLoad(SETTINGS)
 
 
-def make_report(*server_loads, sender="e2", number=1, is_whole=True, grant=0):
-    return LoadShare(sender, number, is_whole, grant, server_loads)
+def make_report(*server_loads, sender="e2", number=1, is_complete=True, grant=0):
+    return LoadShare(sender, number, is_complete, grant, server_loads)
 
 
 def make_server_load(token, busy=1, open_flows=1, is_avoided=False):
@@ -47,7 +47,7 @@
 def test_incremental_report_changes_only_the_listed_servers(peer_load):
     peer_load.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
     peer_load.take(
-        make_report(make_server_load(8, 0, 0), number=2, is_whole=False), 1.1
+        make_report(make_server_load(8, 0, 0), number=2, is_complete=False), 1.1
     )
     assert load_totals(peer_load) == {7: (1, 1)}
 
@@ -55,7 +55,7 @@
 def test_overtaken_report_is_ignored(peer_load):
     peer_load.take(make_report(make_server_load(7, 5, 5), number=9), 1.0)
     peer_load.take(
-        make_report(make_server_load(7, 1, 1), number=8, is_whole=False), 1.1
+        make_report(make_server_load(7, 1, 1), number=8, is_complete=False), 1.1
     )
     assert load_totals(peer_load) == {7: (5, 5)}
 
