Rename grant to included_reservation

Number of the latest reservation that the report includes. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_work.py * grant included_reservation

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -15,8 +15,10 @@
     return PeerLoad(SETTINGS)
 
 
-def make_report(*server_loads, sender="e2", number=1, is_complete=True, grant=0):
-    return LoadShare(sender, number, is_complete, grant, server_loads)
+def make_report(
+    *server_loads, sender="e2", number=1, is_complete=True, included_reservation=0
+):
+    return LoadShare(sender, number, is_complete, included_reservation, server_loads)
 
 
 def make_server_load(token, busy=1, open_flows=1, is_avoided=False):
@@ -69,9 +71,11 @@
 def test_reservation_counts_until_a_report_includes_it(peer_load):
     reservation = peer_load.reserve("e2", 7, 1.0)
     assert load_totals(peer_load) == {7: (1, 1)}
-    peer_load.take(make_report(make_server_load(7), grant=reservation.number), 1.05)
+    peer_load.take(
+        make_report(make_server_load(7), included_reservation=reservation.number), 1.05
+    )
     assert load_totals(peer_load) == {7: (1, 1)}
-    peer_load.take(make_report(number=2, grant=reservation.number), 1.1)
+    peer_load.take(make_report(number=2, included_reservation=reservation.number), 1.1)
     assert load_totals(peer_load) == {}
 
 
