Rename busy to active_requests

Counts requests in progress. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_work.py make_server_load busy active_requests

--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -21,8 +21,8 @@
     return LoadShare(sender, number, is_complete, included_reservation, server_loads)
 
 
-def make_server_load(token, busy=1, open_flows=1, is_avoided=False):
-    return ServerLoad(token, busy, open_flows, is_avoided)
+def make_server_load(token, active_requests=1, open_flows=1, is_avoided=False):
+    return ServerLoad(token, active_requests, open_flows, is_avoided)
 
 
 def load_totals(peer_load):
