--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -38,19 +38,36 @@
     return RouteSet(number, routes, frozenset(addresses), 15.0)
 
 
-def make_flow_key(caller, route):
-    return bytes([100, 64, 0, 1]) + caller.to_bytes(2) + route
-
-
-def make_syn(caller=1, copy=0, route=ROUTE_ADDRESS):
-    return Head(make_flow_key(caller, route), route, 0, True, False, copy, 100, copy, 0)
+def make_flow_key(caller, route_address):
+    return bytes([100, 64, 0, 1]) + caller.to_bytes(2) + route_address
+
+
+def make_syn(caller=1, copy=0, route_address=ROUTE_ADDRESS):
+    return Head(
+        make_flow_key(caller, route_address),
+        route_address,
+        0,
+        True,
+        False,
+        copy,
+        100,
+        copy,
+        0,
+    )
 
 
 def make_data_packet(
-    token, caller=1, route=ROUTE_ADDRESS, sequence=101, acknowledged=500, length=9
+    token,
+    caller=1,
+    route_address=ROUTE_ADDRESS,
+    sequence=101,
+    acknowledged=500,
+    length=9,
 ):
-    flow = make_flow_key(caller, route)
-    return Head(flow, route, token, False, False, 0, sequence, acknowledged, length)
+    flow = make_flow_key(caller, route_address)
+    return Head(
+        flow, route_address, token, False, False, 0, sequence, acknowledged, length
+    )
 
 
 def make_router(*servers, now=0.0, number=1):
@@ -103,7 +120,7 @@
 
 def test_syn_to_an_unknown_route_is_reset():
     router = make_router(make_server_record("i-1"))
-    assert router.handle(make_syn(route=OTHER_ROUTE_ADDRESS), NOW_S) == Reset(
+    assert router.handle(make_syn(route_address=OTHER_ROUTE_ADDRESS), NOW_S) == Reset(
         0, "no-route"
     )
 
