--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -42,16 +42,16 @@
     return bytes([100, 64, 0, 1]) + caller.to_bytes(2) + route_address
 
 
-def make_syn(caller=1, copy=0, route_address=ROUTE_ADDRESS):
+def make_syn(caller=1, retransmission_count=0, route_address=ROUTE_ADDRESS):
     return Head(
         make_flow_key(caller, route_address),
         route_address,
         0,
         True,
         False,
-        copy,
+        retransmission_count,
         100,
-        copy,
+        retransmission_count,
         0,
     )
 
@@ -195,7 +195,7 @@
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
     first_choice = router.handle(make_syn(), NOW_S).server
-    second_choice = router.handle(make_syn(copy=1), NOW_S + 0.2).server
+    second_choice = router.handle(make_syn(retransmission_count=1), NOW_S + 0.2).server
     assert {first_choice, second_choice} == {first, second}
 
 
@@ -208,7 +208,9 @@
 def test_immediate_retransmission_is_not_counted_against_the_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     first_decision = router.handle(make_syn(), NOW_S)
-    assert router.handle(make_syn(copy=1), NOW_S + 0.05) == first_decision
+    assert (
+        router.handle(make_syn(retransmission_count=1), NOW_S + 0.05) == first_decision
+    )
     assert router.load.local_loads[first_decision.token].unanswered_syns == 0
 
 
@@ -217,7 +219,7 @@
     router = make_router(unresponsive, responsive)
     router.load.local_load_at(responsive.token).active_requests = 1
     assert router.handle(make_syn(1), NOW_S).server == unresponsive
-    router.handle(make_syn(1, copy=1), NOW_S + 0.2)
+    router.handle(make_syn(1, retransmission_count=1), NOW_S + 0.2)
     assert router.handle(make_syn(2), NOW_S + 0.3).server == responsive
     assert router.handle(make_syn(3), NOW_S + 0.9).server == unresponsive
 
@@ -225,7 +227,7 @@
 def test_flow_stays_with_the_first_server_that_its_caller_answers():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
     first_decision = router.handle(make_syn(), NOW_S)
-    second_decision = router.handle(make_syn(copy=1), NOW_S + 0.2)
+    second_decision = router.handle(make_syn(retransmission_count=1), NOW_S + 0.2)
     assert (
         router.handle(make_data_packet(first_decision.token), NOW_S + 0.3).server
         == first_decision.server
