--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -64,9 +64,9 @@
     acknowledged=500,
     length=9,
 ):
-    flow = make_flow_key(caller, route_address)
+    flow_key = make_flow_key(caller, route_address)
     return Head(
-        flow, route_address, token, False, False, 0, sequence, acknowledged, length
+        flow_key, route_address, token, False, False, 0, sequence, acknowledged, length
     )
 
 
@@ -363,7 +363,7 @@
     weighted_services = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
     route = Route("r", ROUTE_ADDRESS, weighted_services)
     flows = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
-    services = [route.select_service(flow) for flow in flows]
+    services = [route.select_service(flow_key) for flow_key in flows]
     expected_share = weights[0] / sum(weights)
     assert abs(services.count("entries") / len(services) - expected_share) < 0.03
 
@@ -436,8 +436,8 @@
     router = make_router(first, second)
     selected_tokens = set()
     for caller in range(2):
-        flow = make_flow_key(caller, ROUTE_ADDRESS)
-        request = PlaceQuestion("e2", flow, "entries", (), False)
+        flow_key = make_flow_key(caller, ROUTE_ADDRESS)
+        request = PlaceQuestion("e2", flow_key, "entries", (), False)
         selected_tokens.add(router.place_for(request, NOW_S).token)
     assert selected_tokens == {first.token, second.token}
 
