Rename flows to flow_keys

Keys of flows. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_route_distributes_new_flows_by_weight flows flow_keys

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -362,8 +362,8 @@
 def test_route_distributes_new_flows_by_weight(weights):
     weighted_services = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
     route = Route("r", ROUTE_ADDRESS, weighted_services)
-    flows = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
-    services = [route.select_service(flow_key) for flow_key in flows]
+    flow_keys = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
+    services = [route.select_service(flow_key) for flow_key in flow_keys]
     expected_share = weights[0] / sum(weights)
     assert abs(services.count("entries") / len(services) - expected_share) < 0.03
 
