--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -104,8 +104,8 @@
     header = make_data_packet(record.token)
     assert router.held.put(header, b"one", NOW_S) is True
     assert router.held.put(header, b"two", NOW_S) is False
-    released = router.learn(record, NOW_S + 0.1)
-    assert [packet.data for packet in released] == [b"one", b"two"]
+    packets = router.learn(record, NOW_S + 0.1)
+    assert [packet.data for packet in packets] == [b"one", b"two"]
     assert router.held.count == 0
 
 
