Rename peers to entry_vms

Entry VMs of the zone, this one included. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py make_router_with_other_coordinator peers entry_vms

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -371,8 +371,8 @@
 def make_router_with_other_coordinator(*servers):
     """Return a router and the other VM that places the flows of ``entries``."""
     router = make_router(*servers)
-    for peers in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
-        router.placers.set_peers(peers)
+    for entry_vms in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
+        router.placers.set_peers(entry_vms)
         coordinator = router.placers.placer("entries", 0.0)
         if coordinator != "e1":
             return router, coordinator
