Rename count to number

Number of the transmission. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py retransmit count number

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -254,8 +254,8 @@
 
 def retransmit(router, token, times=3, gap_s=0.3):
     """Send the same data several times; return the last decision."""
-    for count in range(times):
-        decision = router.handle(make_data_packet(token), NOW_S + count * gap_s)
+    for number in range(times):
+        decision = router.handle(make_data_packet(token), NOW_S + number * gap_s)
     return decision
 
 
