--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -12,9 +12,9 @@
 SYN = Head(FLOW_KEY, ROUTE_ADDRESS, 0, True, False, 0, 100, 0, 0)
 
 
-def make_packet(sequence=101, acknowledged=500, length=0, closing=False):
+def make_packet(sequence=101, acknowledged=500, length=0, is_closing=False):
     return Head(
-        FLOW_KEY, ROUTE_ADDRESS, 7, False, closing, 0, sequence, acknowledged, length
+        FLOW_KEY, ROUTE_ADDRESS, 7, False, is_closing, 0, sequence, acknowledged, length
     )
 
 
@@ -51,7 +51,7 @@
 
 def test_closing_a_flow_removes_its_load(tracker):
     tracker.record_packet(make_packet(length=900), 7, 0.01)
-    tracker.record_packet(make_packet(sequence=1001, closing=True), 7, 0.02)
+    tracker.record_packet(make_packet(sequence=1001, is_closing=True), 7, 0.02)
     assert (
         tracker.local_loads[7].active_requests,
         tracker.local_loads[7].open_flows,
