--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -20,9 +20,9 @@
 
 @pytest.fixture
 def tracker():
-    tracker = LoadTracker(TokenSettings("e1", "a"))
-    tracker.record_syn(SYN, 7, 0.0)
-    return tracker
+    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker.record_syn(SYN, 7, 0.0)
+    return load_tracker
 
 
 def test_syn_request_expires_if_the_caller_sends_nothing_more(tracker):
