Rename start to sent_at

Time when the request is sent. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_placers.py test_backoff_doubles_after_a_second_timeout start sent_at

--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -51,9 +51,9 @@
 def test_backoff_doubles_after_a_second_timeout(coordinators):
     service = service_of_another_coordinator(coordinators)
     coordinator = coordinators.placer(service, 0.0)
-    for start in (0.0, 1.1):
-        coordinators.record_request(coordinator, FLOW_KEY, start)
-        coordinators.is_pending(FLOW_KEY, start + 0.04)
+    for sent_at in (0.0, 1.1):
+        coordinators.record_request(coordinator, FLOW_KEY, sent_at)
+        coordinators.is_pending(FLOW_KEY, sent_at + 0.04)
     assert coordinators.placer(service, 3.0) != coordinator
     assert coordinators.placer(service, 3.2) == coordinator
 
