Rename names to selected_names

Names of the selected servers. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_choice.py * names selected_names

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -136,7 +136,7 @@
     directory.store_record(make_server_record("i-2", "c"), 0.0)
     load = LoadTracker(TokenSettings("e1", "a"))
     load.silent_zones = frozenset({"b"})
-    names = set()
+    selected_names = set()
     for seed in range(20):
         selection = select_server(
             directory.running_servers("entries"),
@@ -144,8 +144,8 @@
             load,
             Random(seed),
         )
-        names.add(selection.entry.record.report.lifetime.name)
-    assert names == {"i-2"}
+        selected_names.add(selection.entry.record.report.lifetime.name)
+    assert selected_names == {"i-2"}
 
 
 def test_draining_and_ended_servers_are_not_selected():
