--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -85,8 +85,8 @@
 
 def test_flow_with_many_requests_goes_to_the_server_with_fewest_open_flows():
     records = [make_server_record("i-1"), make_server_record("i-2")]
-    work = {"busy": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
-    assert selected_server_name(records, flow=FLOW_WITH_MANY_REQUESTS, **work) == "i-1"
+    loads = {"busy": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
+    assert selected_server_name(records, flow=FLOW_WITH_MANY_REQUESTS, **loads) == "i-1"
 
 
 def test_flow_with_many_requests_stays_in_its_zone_despite_active_requests():
