Rename busy to active_requests

Counts requests in progress. The text that names the parameter follows; behaviour is unchanged.

Rename: test_choice.py busy active_requests

--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -27,7 +27,7 @@
 
 def selected_server_name(
     records,
-    busy=(),
+    active_requests=(),
     flow=FLOW_WITH_FEW_REQUESTS,
     first_known_at=0.0,
     open_flows=(),
@@ -38,7 +38,7 @@
     load = LoadTracker(TokenSettings("e1", "a"))
     for record in records:
         directory.store_record(record, first_known_at)
-    for name, count in dict(busy).items():
+    for name, count in dict(active_requests).items():
         load.local_load_at(Lifetime(name, 1).token).active_requests = count
     for name, count in dict(open_flows).items():
         load.local_load_at(Lifetime(name, 1).token).open_flows = count
@@ -85,7 +85,7 @@
 
 def test_flow_with_many_requests_goes_to_the_server_with_fewest_open_flows():
     records = [make_server_record("i-1"), make_server_record("i-2")]
-    loads = {"busy": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
+    loads = {"active_requests": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
     assert selected_server_name(records, flow=FLOW_WITH_MANY_REQUESTS, **loads) == "i-1"
 
 
