Rename copy to retransmission_count

Counts how often the caller sent the same SYN before. The text that names the parameter follows; behaviour is unchanged.

Rename: test_waiting.py copy retransmission_count

--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -9,16 +9,18 @@
 SETTINGS = TokenSettings("e1", "a", syn_buffer_limit=2)
 
 
-def make_syn(copy=0, flow=b"f"):
-    return Head(flow, b"r", 0, True, False, copy, 0, copy, 0)
+def make_syn(retransmission_count=0, flow=b"f"):
+    return Head(
+        flow, b"r", 0, True, False, retransmission_count, 0, retransmission_count, 0
+    )
 
 
 @pytest.mark.parametrize(
-    ("copy", "remaining_s"), [(0, 1.4), (1, 1.2), (2, 0.8), (9, 0.8)]
+    ("retransmission_count", "remaining_s"), [(0, 1.4), (1, 1.2), (2, 0.8), (9, 0.8)]
 )
-def test_syn_is_buffered_until_its_caller_times_out(copy, remaining_s):
+def test_syn_is_buffered_until_its_caller_times_out(retransmission_count, remaining_s):
     syn_buffer = SynBuffer(SETTINGS)
-    syn_buffer.put(make_syn(copy), b"", 10.0)
+    syn_buffer.put(make_syn(retransmission_count), b"", 10.0)
     assert len(syn_buffer.due(10.0 + remaining_s - 0.01)) == 1
     assert syn_buffer.due(10.0 + remaining_s + 0.01) == []
 
