--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -16,6 +16,7 @@
 
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
 OTHER_ROUTE_ADDRESS = bytes([198, 18, 0, 2, 1, 187])
+# Servers that became known at 0 s are past the new-server delay at this time.
 NOW_S = 10.0
 
 
