--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -322,8 +322,8 @@
         if the service had one, or this VM started, at most ``server_wait_s`` seconds
         ago. Otherwise the flow is refused at once.
         """
-        last_served_at = self.last_served_at.get(service, self.started_at)
-        if last_served_at > now - self.settings.server_wait_s:
+        waiting_since = self.last_served_at.get(service, self.started_at)
+        if waiting_since > now - self.settings.server_wait_s:
             return Wait("no-server-yet")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
 
