Rename load to server_load

Load on one server; load is the load tracker in this file. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: router.py _loads_by_receiver load server_load

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -262,13 +262,13 @@
         if len(receivers) < self.settings.full_reporting_max_vms:
             return {vm: loads for vm in receivers}
         by_receiver: dict[VmId, list[ServerLoad]] = {}
-        for load in loads:
-            entry = self.directory.by_token.get(load.token)
+        for server_load in loads:
+            entry = self.directory.by_token.get(server_load.token)
             if entry is None:
                 continue
             coordinator = self.placers.placer(entry.record.report.service, now)
             if coordinator != self.settings.vm:
-                by_receiver.setdefault(coordinator, []).append(load)
+                by_receiver.setdefault(coordinator, []).append(server_load)
         return by_receiver
 
     def _route_by_token(self, header: Head, now: float) -> Decision:
