Rename load to local_load

Load on one server; load is the load tracker in this file. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: router.py _log_unanswered_syn load local_load

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -344,10 +344,10 @@
         )
 
     def _log_unanswered_syn(self, header: Head, token: int) -> None:
-        load = self.load.local_load_at(token)
+        local_load = self.load.local_load_at(token)
         log_decision(
             "server-unanswered",
             flow=header.flow.hex(),
             token=token,
-            strikes=load.unanswered_syns,
+            strikes=local_load.unanswered_syns,
         )
