--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -134,16 +134,16 @@
             if vm not in self.placers.entry_vms:
                 self.outgoing_reports.pop(vm, None)
                 continue
-            report = self._reports_to(vm).next_report(
+            load_report = self._reports_to(vm).next_report(
                 self.settings.vm,
                 self.report_count + 1,
                 loads_by_receiver.get(vm, []),
                 now,
                 self.settings.complete_report_interval_s,
             )
-            if report is not None:
+            if load_report is not None:
                 self.report_count += 1
-                due_reports.append((vm, report))
+                due_reports.append((vm, load_report))
         return due_reports
 
     def sweep(self, now: float) -> None:
