Rename load to local_load

Load on one server; load is the load tracker in this file.

Rename: test_router.py test_load_counts_are_never_negative load local_load

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -354,9 +354,9 @@
         decision = router.handle(header, now)
         if isinstance(decision, Forward):
             assert decision.server.report.service == "entries"
-    for load in router.load.local_loads.values():
-        assert load.active_requests >= 0
-        assert load.open_flows >= 0
+    for local_load in router.load.local_loads.values():
+        assert local_load.active_requests >= 0
+        assert local_load.open_flows >= 0
 
 
 @pytest.mark.parametrize("weights", [(1, 0), (0, 1), (3, 1)])
