Rename number to transmission

Number of the transmission; number is a report or document number in this file. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py retransmit number transmission

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -255,8 +255,8 @@
 
 def retransmit(router, token, times=3, gap_s=0.3):
     """Send the same data several times; return the last decision."""
-    for number in range(times):
-        decision = router.handle(make_data_packet(token), NOW_S + number * gap_s)
+    for transmission in range(times):
+        decision = router.handle(make_data_packet(token), NOW_S + transmission * gap_s)
     return decision
 
 
