Rename services to selected_services

Services selected for the flows. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_router.py test_route_distributes_new_flows_by_weight services selected_services

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -364,9 +364,14 @@
     weighted_services = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
     route = Route("r", ROUTE_ADDRESS, weighted_services)
     flow_keys = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
-    services = [route.select_service(flow_key) for flow_key in flow_keys]
+    selected_services = [route.select_service(flow_key) for flow_key in flow_keys]
     expected_share = weights[0] / sum(weights)
-    assert abs(services.count("entries") / len(services) - expected_share) < 0.03
+    assert (
+        abs(
+            selected_services.count("entries") / len(selected_services) - expected_share
+        )
+        < 0.03
+    )
 
 
 def make_router_with_other_coordinator(*servers):
