Rename flow to flow_key

The key of a flow. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: test_waiting.py make_syn+test_full_buffer_rejects_syns_of_further_flows flow flow_key

--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -9,9 +9,9 @@
 SETTINGS = TokenSettings("e1", "a", syn_buffer_limit=2)
 
 
-def make_syn(retransmission_count=0, flow=b"f"):
+def make_syn(retransmission_count=0, flow_key=b"f"):
     return Head(
-        flow, b"r", 0, True, False, retransmission_count, 0, retransmission_count, 0
+        flow_key, b"r", 0, True, False, retransmission_count, 0, retransmission_count, 0
     )
 
 
@@ -34,10 +34,10 @@
 
 def test_full_buffer_rejects_syns_of_further_flows():
     syn_buffer = SynBuffer(SETTINGS)
-    assert syn_buffer.put(make_syn(flow=b"1"), b"", 0.0)
-    assert syn_buffer.put(make_syn(flow=b"2"), b"", 0.0)
-    assert not syn_buffer.put(make_syn(flow=b"3"), b"", 0.0)
-    assert syn_buffer.put(make_syn(1, flow=b"2"), b"", 0.0)
+    assert syn_buffer.put(make_syn(flow_key=b"1"), b"", 0.0)
+    assert syn_buffer.put(make_syn(flow_key=b"2"), b"", 0.0)
+    assert not syn_buffer.put(make_syn(flow_key=b"3"), b"", 0.0)
+    assert syn_buffer.put(make_syn(1, flow_key=b"2"), b"", 0.0)
 
 
 def test_removed_syn_is_not_returned():
