--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -43,14 +43,14 @@
         token: Token of the selected server, 0 if no server can take the flow.
         is_full: Whether the request queue of the selected server is full, so that the
             flow has to wait.
-        reservation: Number of the reservation for the flow, 0 for none.
+        reservation_number: Number of the reservation for the flow, 0 for none.
     """
 
     sender: VmId
     flow_key: bytes
     token: int
     is_full: bool
-    reservation: int
+    reservation_number: int
 
 
 class Backoff:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -120,7 +120,7 @@
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_locally(header, service, now)
-        self._reports_to(answer.sender).used_reservation = answer.reservation
+        self._reports_to(answer.sender).used_reservation = answer.reservation_number
         self.last_served_at[service] = now
         self.load.record_syn(header, answer.token, now)
         self._log_placement(header, entry, now, placer=answer.sender)
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -451,7 +451,7 @@
 def test_placement_answer_has_no_token_without_servers():
     request = PlaceQuestion("e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False)
     answer = make_router().place_for(request, NOW_S)
-    assert (answer.token, answer.reservation) == (0, 0)
+    assert (answer.token, answer.reservation_number) == (0, 0)
 
 
 def test_load_is_reported_only_to_coordinators_in_a_large_zone():
