--- a/libs/tokens/src/kumquatmux_tokens/server_selection.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_selection.py
@@ -69,7 +69,7 @@
 
 
 def select_server(
-    entries: list[ServerEntry], flow: NewFlow, load: LoadTracker, random: Random
+    entries: list[ServerEntry], flow: NewFlow, load_tracker: LoadTracker, random: Random
 ) -> Selection | None:
     """Select the server for a new flow.
 
@@ -91,7 +91,7 @@
     Args:
         entries: Servers of the service.
         flow: The flow.
-        load: Load on each server.
+        load_tracker: Load on each server.
         random: Random number generator that breaks ties.
 
     Returns:
@@ -102,21 +102,21 @@
     ]
     if not ready_entries:
         return None
-    zone = load.settings.zone
+    zone = load_tracker.settings.zone
     local_entries = [
         entry for entry in ready_entries if entry.record.report.zone == zone
     ]
     candidates = [
-        _evaluate_candidate(entry, flow, load, random.random())
+        _evaluate_candidate(entry, flow, load_tracker, random.random())
         for entry in local_entries
     ]
     best = min(candidates, key=_sort_key, default=None)
-    if best is None or not _beats_other_zones(best, load):
+    if best is None or not _beats_other_zones(best, load_tracker):
         remote_entries = (
             entry for entry in ready_entries if entry.record.report.zone != zone
         )
         candidates += [
-            _evaluate_candidate(entry, flow, load, random.random())
+            _evaluate_candidate(entry, flow, load_tracker, random.random())
             for entry in remote_entries
         ]
         best = min(candidates, key=_sort_key)
@@ -128,9 +128,9 @@
     )
 
 
-def _beats_other_zones(candidate: Candidate, load: LoadTracker) -> bool:
+def _beats_other_zones(candidate: Candidate, load_tracker: LoadTracker) -> bool:
     """Return whether no server of another zone can be a better choice."""
-    is_cheap = candidate.cost <= load.settings.remote_zone_cost
+    is_cheap = candidate.cost <= load_tracker.settings.remote_zone_cost
     return candidate.priority_level == 0 and not candidate.is_full and is_cheap
 
 
@@ -145,35 +145,37 @@
     )
 
 
-def _priority_level(entry: ServerEntry, flow: NewFlow, load: LoadTracker) -> int:
+def _priority_level(
+    entry: ServerEntry, flow: NewFlow, load_tracker: LoadTracker
+) -> int:
     token = entry.record.token
-    own_load = load.local_loads.get(token)
+    own_load = load_tracker.local_loads.get(token)
     if token in flow.tried_tokens:
         return 4
     if entry.record.is_late:
         return 3
-    if entry.record.report.zone in load.silent_zones:
+    if entry.record.report.zone in load_tracker.silent_zones:
         return LAST_RESORT_LEVEL
-    peer_load = load.zone.totals.get(token)
+    peer_load = load_tracker.zone.totals.get(token)
     is_avoided = own_load is not None and own_load.avoided_until > flow.now
     if is_avoided or (peer_load is not None and peer_load.avoiding_vms > 0):
         return LAST_RESORT_LEVEL
-    if entry.first_known_at > flow.now - load.settings.new_server_delay_s:
+    if entry.first_known_at > flow.now - load_tracker.settings.new_server_delay_s:
         return 1
     return 0
 
 
 def _evaluate_candidate(
-    entry: ServerEntry, flow: NewFlow, load: LoadTracker, tie_breaker: float
+    entry: ServerEntry, flow: NewFlow, load_tracker: LoadTracker, tie_breaker: float
 ) -> Candidate:
-    settings = load.settings
+    settings = load_tracker.settings
     report = entry.record.report
     token = entry.record.token
     slots = max(report.slots, 1)
-    own_load = load.local_loads.get(token)
+    own_load = load_tracker.local_loads.get(token)
     active_requests = own_load.active_requests if own_load else 0
     open_flows = own_load.open_flows if own_load else 0
-    peer_load = load.zone.totals.get(token)
+    peer_load = load_tracker.zone.totals.get(token)
     if peer_load is not None:
         active_requests += peer_load.active_requests
         open_flows += peer_load.open_flows
@@ -190,5 +192,5 @@
         cost += settings.remote_zone_cost
     is_full = active_requests >= slots + settings.queue_depth
     return Candidate(
-        entry, _priority_level(entry, flow, load), is_full, cost, tie_breaker
+        entry, _priority_level(entry, flow, load_tracker), is_full, cost, tie_breaker
     )
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -35,17 +35,17 @@
 ):
     """Return the name of the selected server, given requests and flows by name."""
     directory = ServerDirectory()
-    load = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker = LoadTracker(TokenSettings("e1", "a"))
     for record in records:
         directory.store_record(record, first_known_at)
     for name, count in dict(active_requests).items():
-        load.local_load_at(Lifetime(name, 1).token).active_requests = count
+        load_tracker.local_load_at(Lifetime(name, 1).token).active_requests = count
     for name, count in dict(open_flows).items():
-        load.local_load_at(Lifetime(name, 1).token).open_flows = count
+        load_tracker.local_load_at(Lifetime(name, 1).token).open_flows = count
     if load_report:
-        load.zone.take(load_report, NOW_S)
+        load_tracker.zone.take(load_report, NOW_S)
     selection = select_server(
-        directory.running_servers("entries"), flow, load, Random(1)
+        directory.running_servers("entries"), flow, load_tracker, Random(1)
     )
     return selection and selection.entry.record.report.lifetime.name
 
@@ -123,9 +123,12 @@
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1"), NOW_S - 0.05)
     directory.store_record(make_server_record("i-2", "b"), 0.0)
-    load = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker = LoadTracker(TokenSettings("e1", "a"))
     selection = select_server(
-        directory.running_servers("entries"), FLOW_WITH_FEW_REQUESTS, load, Random(1)
+        directory.running_servers("entries"),
+        FLOW_WITH_FEW_REQUESTS,
+        load_tracker,
+        Random(1),
     )
     assert selection.entry.record.report.lifetime.name == "i-2"
 
@@ -134,14 +137,14 @@
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1", "b"), 0.0)
     directory.store_record(make_server_record("i-2", "c"), 0.0)
-    load = LoadTracker(TokenSettings("e1", "a"))
-    load.silent_zones = frozenset({"b"})
+    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker.silent_zones = frozenset({"b"})
     selected_names = set()
     for seed in range(20):
         selection = select_server(
             directory.running_servers("entries"),
             FLOW_WITH_FEW_REQUESTS,
-            load,
+            load_tracker,
             Random(seed),
         )
         selected_names.add(selection.entry.record.report.lifetime.name)
