--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -252,12 +252,12 @@
                 ServerLoad(token, 0, 0, False)
                 for token in self.reported_loads.keys() - current_loads
             ]
-            changed = [
+            changed_loads = [
                 load
                 for token, load in current_loads.items()
                 if self.reported_loads.get(token) != load
             ]
-            reported = (*changed, *removed)
+            reported = (*changed_loads, *removed)
         self.reported_loads = current_loads
         if not (
             is_complete
