--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -248,7 +248,7 @@
             self.last_complete_at = now
             reported = tuple(current_loads.values())
         else:
-            removed = [
+            removed_loads = [
                 ServerLoad(token, 0, 0, False)
                 for token in self.reported_loads.keys() - current_loads
             ]
@@ -257,7 +257,7 @@
                 for token, load in current_loads.items()
                 if self.reported_loads.get(token) != load
             ]
-            reported = (*changed_loads, *removed)
+            reported = (*changed_loads, *removed_loads)
         self.reported_loads = current_loads
         if not (
             is_complete
