Rename reported to loads_to_report

Holds the loads to report. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: work.py next_report reported loads_to_report

--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -246,7 +246,7 @@
         is_complete = now - self.last_complete_at >= complete_interval_s
         if is_complete:
             self.last_complete_at = now
-            reported = tuple(current_loads.values())
+            loads_to_report = tuple(current_loads.values())
         else:
             removed_loads = [
                 ServerLoad(token, 0, 0, False)
@@ -257,13 +257,15 @@
                 for token, load in current_loads.items()
                 if self.reported_loads.get(token) != load
             ]
-            reported = (*changed_loads, *removed_loads)
+            loads_to_report = (*changed_loads, *removed_loads)
         self.reported_loads = current_loads
         if not (
             is_complete
-            or reported
+            or loads_to_report
             or self.used_reservation != self.reported_reservation
         ):
             return None
         self.reported_reservation = self.used_reservation
-        return LoadShare(sender, number, is_complete, self.used_reservation, reported)
+        return LoadShare(
+            sender, number, is_complete, self.used_reservation, loads_to_report
+        )
