Rename point to hash_point

Position of the flow's hash among the weights. Made on the syntax tokens of the named scope; behaviour is unchanged.

Rename: routes.py select_service point hash_point

--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -41,11 +41,11 @@
             AssertionError: No service has a weight above 0.
         """
         total_weight = sum(share.weight for share in self.shares)
-        point = xxhash.xxh3_64_intdigest(flow_key) % total_weight
+        hash_point = xxhash.xxh3_64_intdigest(flow_key) % total_weight
         for share in self.shares:
-            if point < share.weight:
+            if hash_point < share.weight:
                 return share.service
-            point -= share.weight
+            hash_point -= share.weight
         raise AssertionError(f"route {self.name} has no service with a weight above 0")
 
 
