--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -9,6 +9,7 @@
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_tokens.choice import NewFlow, Selection, select_server
+from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load_tracker import LoadTracker
 from kumquatmux_tokens.packets import (
     Ask,
@@ -22,7 +23,6 @@
 )
 from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.routes import RouteSet, RouteTable
-from kumquatmux_tokens.server_directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
 from kumquatmux_tokens.work import LoadShare, OutgoingReports, ServerLoad
