--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -7,7 +7,7 @@
 
 from kumquatmux_registry.records import Phase
 from kumquatmux_tokens.directory import ServerEntry
-from kumquatmux_tokens.load_tracker import LoadTracker
+from kumquatmux_tokens.load import LoadTracker
 
 LAST_RESORT_LEVEL = 2
 """Lowest priority level at which a server is selected only as a last resort.
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -10,7 +10,7 @@
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_tokens.choice import NewFlow, Selection, select_server
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
-from kumquatmux_tokens.load_tracker import LoadTracker
+from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import (
     Ask,
     Decision,
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -6,7 +6,7 @@
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.choice import NewFlow, select_server
 from kumquatmux_tokens.directory import ServerDirectory
-from kumquatmux_tokens.load_tracker import LoadTracker
+from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatmux_tokens.load_tracker import LoadTracker
+from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare
