--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -1,4 +1,4 @@
-"""Which server a new flow goes to."""
+"""Selection of the backend server for a new flow."""
 
 from __future__ import annotations
 
@@ -6,142 +6,191 @@
 from typing import NamedTuple
 
 from kumquatmux_registry.records import Phase
-from kumquatmux_tokens.directory import Entry
-from kumquatmux_tokens.load import LoadTable
+from kumquatmux_tokens.directory import ServerEntry
+from kumquatmux_tokens.load import LoadTracker
 
-LAST_RESORT = 2
-"""Grade from which on a server is chosen only where there is no other."""
+LAST_RESORT_LEVEL = 2
+"""Lowest priority level at which a server is selected only as a last resort.
 
+Such a server is selected only if every server has this level or a higher one.
+"""
 
-class Opening(NamedTuple):
-    """The flow to be placed.
+
+class NewFlow(NamedTuple):
+    """A new flow that needs a server.
 
     Attributes:
-        tried: Tokens that copies of its first packet went to.
-        is_long: Whether it is likely to carry many requests.
-        now: Steady seconds.
+        tried_tokens: Tokens of the servers that earlier SYN packets of the flow were
+            sent to.
+        expects_many_requests: Whether the flow is likely to carry many requests.
+        now: Current time in monotonic seconds.
     """
 
-    tried: tuple[int, ...]
-    is_long: bool
+    tried_tokens: tuple[int, ...]
+    expects_many_requests: bool
     now: float
 
 
-class Choice(NamedTuple):
-    """The server chosen for a flow and what the choice was made from.
+class Selection(NamedTuple):
+    """The server selected for a flow, with the values that decided the selection.
 
     Attributes:
-        entry: The server.
-        cost: Its load in slots, with what distance and cold start add.
-        candidates: How many servers were open to the choice.
-        grade: 0 where it was sound, more the worse its last resort.
-        is_full: Whether more work waits at every server than finishes in time.
+        entry: The selected server.
+        cost: Load per slot, increased for a server in another zone or in warm-up.
+        candidate_count: Number of evaluated servers with the same priority level.
+        priority_level: Priority level; 0 is preferred, higher levels are fallbacks.
+        is_full: Whether the request queue of the selected server is full, so that the
+            flow has to wait.
     """
 
-    entry: Entry
+    entry: ServerEntry
     cost: float
-    candidates: int
-    grade: int
+    candidate_count: int
+    priority_level: int
     is_full: bool
 
 
-class Offer(NamedTuple):
-    """One server as it offers itself to a flow.
+class Candidate(NamedTuple):
+    """A server that is evaluated as a candidate for a new flow.
 
     Attributes:
         entry: The server.
-        grade: As in ``Choice``.
-        is_full: Whether as much work waits there as may.
-        cost: As in ``Choice``.
-        tie: Random, between servers that are equal.
+        priority_level: Priority level; 0 is preferred, higher levels are fallbacks.
+        is_full: Whether the server's request queue is full.
+        cost: Load per slot, increased for a server in another zone or in warm-up.
+        tie_breaker: Random number that decides between otherwise equal candidates.
     """
 
-    entry: Entry
-    grade: int
+    entry: ServerEntry
+    priority_level: int
     is_full: bool
     cost: float
-    tie: float
+    tie_breaker: float
+
 
+def select_server(
+    entries: list[ServerEntry], flow: NewFlow, load_tracker: LoadTracker, random: Random
+) -> Selection | None:
+    """Select the server for a new flow.
 
-def choose(
-    entries: list[Entry], opening: Opening, load: LoadTable, random: Random
-) -> Choice | None:
-    """Return the server for a flow, None if no server may take it.
+    Only servers in phase ``READY`` are eligible. Each gets a priority level:
 
-    Servers that leave or have ended are never chosen. Those that were tried already,
-    left others unanswered, are late with their reports or still new come last, in
-    this order of grades. A short flow goes where the least work is now, a long one
-    where the fewest flows are. Other zones are looked at only where this one's best
-    server costs as much as leaving the zone.
+        0: The server has no known problem.
+        1: It became known less than ``new_server_delay_s`` seconds ago.
+        2: Its zone is unreachable, or it left SYN packets unanswered.
+        3: Its reports are overdue.
+        4: A SYN packet of this flow was already sent to it.
+
+    Servers of level 2 or higher are a last resort. Among the other servers, and among
+    those of last resort, a server whose queue is not full comes first, then a lower
+    level, then a lower load per slot. For a flow with many requests, requests in
+    progress count less, so that the number of open flows counts more. Servers of other
+    zones are evaluated only if the best server of this zone has a level above 0, is
+    full, or costs more than ``remote_zone_cost``.
 
     Args:
         entries: Servers of the service.
-        opening: The flow.
-        load: The work known at each server.
-        random: Breaks ties.
+        flow: The flow.
+        load_tracker: Load on each server.
+        random: Random number generator that breaks ties.
+
+    Returns:
+        The selection, or None if no server is eligible.
     """
-    ready = [one for one in entries if one.record.report.phase == Phase.READY]
-    if not ready:
+    ready_entries = [
+        entry for entry in entries if entry.record.report.phase == Phase.READY
+    ]
+    if not ready_entries:
         return None
-    zone = load.settings.zone
-    near = [one for one in ready if one.record.report.zone == zone]
-    offers = [_offer(one, opening, load, random.random()) for one in near]
-    best = min(offers, key=_order, default=None)
-    if best is None or not _is_sound(best, load):
-        far = (one for one in ready if one.record.report.zone != zone)
-        offers += [_offer(one, opening, load, random.random()) for one in far]
-        best = min(offers, key=_order)
-    candidates = sum(1 for one in offers if one.grade == best.grade)
-    return Choice(best.entry, best.cost, candidates, best.grade, best.is_full)
-
-
-def _is_sound(offer: Offer, load: LoadTable) -> bool:
+    zone = load_tracker.settings.zone
+    local_entries = [
+        entry for entry in ready_entries if entry.record.report.zone == zone
+    ]
+    candidates = [
+        _evaluate_candidate(entry, flow, load_tracker, random.random())
+        for entry in local_entries
+    ]
+    best = min(candidates, key=_sort_key, default=None)
+    if best is None or not _beats_other_zones(best, load_tracker):
+        remote_entries = (
+            entry for entry in ready_entries if entry.record.report.zone != zone
+        )
+        candidates += [
+            _evaluate_candidate(entry, flow, load_tracker, random.random())
+            for entry in remote_entries
+        ]
+        best = min(candidates, key=_sort_key)
+    candidate_count = sum(
+        1 for candidate in candidates if candidate.priority_level == best.priority_level
+    )
+    return Selection(
+        best.entry, best.cost, candidate_count, best.priority_level, best.is_full
+    )
+
+
+def _beats_other_zones(candidate: Candidate, load_tracker: LoadTracker) -> bool:
     """Return whether no server of another zone can be a better choice."""
-    is_cheap = offer.cost <= load.settings.remote_cost
-    return offer.grade == 0 and not offer.is_full and is_cheap
+    is_cheap = candidate.cost <= load_tracker.settings.remote_zone_cost
+    return candidate.priority_level == 0 and not candidate.is_full and is_cheap
 
 
-def _order(offer: Offer) -> tuple[bool, bool, int, float, float]:
-    is_last_resort = offer.grade >= LAST_RESORT
-    return (is_last_resort, offer.is_full, offer.grade, offer.cost, offer.tie)
+def _sort_key(candidate: Candidate) -> tuple[bool, bool, int, float, float]:
+    is_last_resort = candidate.priority_level >= LAST_RESORT_LEVEL
+    return (
+        is_last_resort,
+        candidate.is_full,
+        candidate.priority_level,
+        candidate.cost,
+        candidate.tie_breaker,
+    )
 
 
-def _grade(entry: Entry, opening: Opening, load: LoadTable) -> int:
+def _priority_level(
+    entry: ServerEntry, flow: NewFlow, load_tracker: LoadTracker
+) -> int:
     token = entry.record.token
-    work = load.work.get(token)
-    if token in opening.tried:
+    own_load = load_tracker.local_loads.get(token)
+    if token in flow.tried_tokens:
         return 4
     if entry.record.is_late:
         return 3
-    if entry.record.report.zone in load.silent_zones:
-        return LAST_RESORT
-    total = load.zone.totals.get(token)
-    is_avoided = work is not None and work.avoided_until > opening.now
-    if is_avoided or (total is not None and total.avoided > 0):
-        return LAST_RESORT
-    if entry.known_at > opening.now - load.settings.settle_s:
+    if entry.record.report.zone in load_tracker.silent_zones:
+        return LAST_RESORT_LEVEL
+    peer_load = load_tracker.zone.totals.get(token)
+    is_avoided = own_load is not None and own_load.avoided_until > flow.now
+    if is_avoided or (peer_load is not None and peer_load.avoiding_vms > 0):
+        return LAST_RESORT_LEVEL
+    if entry.first_known_at > flow.now - load_tracker.settings.new_server_delay_s:
         return 1
     return 0
 
 
-def _offer(entry: Entry, opening: Opening, load: LoadTable, tie: float) -> Offer:
-    settings = load.settings
+def _evaluate_candidate(
+    entry: ServerEntry, flow: NewFlow, load_tracker: LoadTracker, tie_breaker: float
+) -> Candidate:
+    settings = load_tracker.settings
     report = entry.record.report
     token = entry.record.token
     slots = max(report.slots, 1)
-    own = load.work.get(token)
-    busy = own.busy if own else 0
-    open_flows = own.open if own else 0
-    total = load.zone.totals.get(token)
-    if total is not None:
-        busy += total.busy
-        open_flows += total.open
-    idle = max(open_flows - busy, 0)
-    busy_cost = settings.long_busy_cost if opening.is_long else 1.0
-    cost = (busy_cost * busy + settings.open_cost * idle) / slots
-    if entry.warm_at > opening.now:
-        cost = (cost + 1 / slots) * settings.cold_cost
+    own_load = load_tracker.local_loads.get(token)
+    active_requests = own_load.active_requests if own_load else 0
+    open_flows = own_load.open_flows if own_load else 0
+    peer_load = load_tracker.zone.totals.get(token)
+    if peer_load is not None:
+        active_requests += peer_load.active_requests
+        open_flows += peer_load.open_flows
+    idle_flows = max(open_flows - active_requests, 0)
+    active_request_cost = (
+        settings.many_requests_active_cost if flow.expects_many_requests else 1.0
+    )
+    cost = (
+        active_request_cost * active_requests + settings.idle_flow_cost * idle_flows
+    ) / slots
+    if entry.warm_up_ends_at > flow.now:
+        cost = (cost + 1 / slots) * settings.warm_up_cost_factor
     if report.zone != settings.zone:
-        cost += settings.remote_cost
-    is_full = busy >= slots + settings.queue_depth
-    return Offer(entry, _grade(entry, opening, load), is_full, cost, tie)
+        cost += settings.remote_zone_cost
+    is_full = active_requests >= slots + settings.queue_depth
+    return Candidate(
+        entry, _priority_level(entry, flow, load_tracker), is_full, cost, tie_breaker
+    )
--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -1,4 +1,4 @@
-"""The servers that tokens stand for."""
+"""Known backend servers, indexed by token, name and service."""
 
 from __future__ import annotations
 
@@ -9,88 +9,93 @@
 from kumquatmux_registry.records import Phase, ServerRecord
 
 
-class Entry(NamedTuple):
-    """A server lifetime as this VM knows it.
+class ServerEntry(NamedTuple):
+    """One lifetime of a server, from its start to its end, as known to this VM.
 
     Attributes:
-        record: Its newest record.
-        known_at: When it was first known, in steady seconds.
-        ended_at: When its end was known, None before.
-        warm_at: When it will have warmed up.
+        record: Latest record of the lifetime.
+        first_known_at: Time when the lifetime became known, in monotonic seconds.
+        ended_at: Time when its end became known, None before that.
+        warm_up_ends_at: Time when its warm-up ends.
     """
 
     record: ServerRecord
-    known_at: float
+    first_known_at: float
     ended_at: float | None
-    warm_at: float
+    warm_up_ends_at: float
 
 
-class Directory:
-    """Server lifetimes by token, by name and by service.
+class ServerDirectory:
+    """Server lifetimes indexed by token, server name and service.
 
     Attributes:
-        by_token: Every lifetime known, ended ones for a while too.
-        by_service: Lifetimes that have not ended, by service.
-        clashing: Tokens that two lifetimes share; no flow is placed on either.
+        by_token: All known lifetimes, including recently ended ones.
+        by_name: Token of the latest lifetime, by server name.
+        by_service: Lifetimes that have not ended, by service and token.
+        colliding_tokens: Tokens that two lifetimes share; neither gets new flows.
     """
 
     def __init__(self) -> None:
-        self.by_token: dict[int, Entry] = {}
+        self.by_token: dict[int, ServerEntry] = {}
         self.by_name: dict[str, int] = {}
-        self.by_service: dict[ServiceName, dict[int, Entry]] = {}
-        self.clashing: set[int] = set()
+        self.by_service: dict[ServiceName, dict[int, ServerEntry]] = {}
+        self.colliding_tokens: set[int] = set()
 
-    def put(self, record: ServerRecord, now: float) -> None:
-        """Take a newer record of a server name."""
+    def store_record(self, record: ServerRecord, now: float) -> None:
+        """Store a server's latest record and end the lifetime that it replaces."""
         lifetime = record.report.lifetime
         token = record.token
-        former = self.by_name.get(lifetime.name)
-        if former is not None and former != token:
-            self._end(former, now)
-        known = self.by_token.get(token)
-        if known is not None and known.record.report.lifetime != lifetime:
+        previous_token = self.by_name.get(lifetime.name)
+        if previous_token is not None and previous_token != token:
+            self._mark_ended(previous_token, now)
+        known_entry = self.by_token.get(token)
+        if known_entry is not None and known_entry.record.report.lifetime != lifetime:
             log_decision("token-clash", token=token, server=lifetime)
-            self.clashing.add(token)
+            self.colliding_tokens.add(token)
         self.by_name[lifetime.name] = token
         is_ended = record.report.phase == Phase.ENDED
-        ended_at = known.ended_at if known and is_ended else None
+        ended_at = known_entry.ended_at if known_entry and is_ended else None
         if is_ended and ended_at is None:
             ended_at = now
-        known_at = known.known_at if known else now
-        warm_at = now + record.report.warm_up_s
-        self._store(token, Entry(record, known_at, ended_at, warm_at))
+        first_known_at = known_entry.first_known_at if known_entry else now
+        warm_up_ends_at = now + record.report.warm_up_s
+        self._store(
+            token, ServerEntry(record, first_known_at, ended_at, warm_up_ends_at)
+        )
 
-    def servers(self, service: ServiceName) -> list[Entry]:
+    def running_servers(self, service: ServiceName) -> list[ServerEntry]:
         """Return the lifetimes of a service that have not ended."""
         return list(self.by_service.get(service, {}).values())
 
-    def open_entry(self, token: int) -> Entry | None:
-        """Return a lifetime that may get new flows, None if the token names none."""
+    def accepting_entry(self, token: int) -> ServerEntry | None:
+        """Return the lifetime with a token if it accepts new flows, else None."""
         entry = self.by_token.get(token)
-        if entry is None or token in self.clashing:
+        if entry is None or token in self.colliding_tokens:
             return None
-        is_open = entry.record.report.phase == Phase.READY and entry.ended_at is None
-        return entry if is_open else None
+        accepts_flows = (
+            entry.record.report.phase == Phase.READY and entry.ended_at is None
+        )
+        return entry if accepts_flows else None
 
-    def forget(self, before: float) -> None:
-        """Drop lifetimes that ended before a time."""
+    def remove_ended(self, limit: float) -> None:
+        """Remove lifetimes that ended before a given time."""
         for token, entry in list(self.by_token.items()):
-            if entry.ended_at is not None and entry.ended_at < before:
+            if entry.ended_at is not None and entry.ended_at < limit:
                 del self.by_token[token]
-                self.clashing.discard(token)
+                self.colliding_tokens.discard(token)
                 name = entry.record.report.lifetime.name
                 if self.by_name.get(name) == token:
                     del self.by_name[name]
 
-    def _end(self, token: int, now: float) -> None:
+    def _mark_ended(self, token: int, now: float) -> None:
         entry = self.by_token.get(token)
         if entry is not None and entry.ended_at is None:
             self._store(token, entry._replace(ended_at=now))
 
-    def _store(self, token: int, entry: Entry) -> None:
+    def _store(self, token: int, entry: ServerEntry) -> None:
         self.by_token[token] = entry
-        service = self.by_service.setdefault(entry.record.report.service, {})
+        service_entries = self.by_service.setdefault(entry.record.report.service, {})
         if entry.ended_at is None:
-            service[token] = entry
+            service_entries[token] = entry
         else:
-            service.pop(token, None)
+            service_entries.pop(token, None)
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -1,7 +1,8 @@
-"""What callers' packets show of the work at each server.
+"""Load on each server, derived from the packets of callers.
 
-Answers go past this VM. A request counts as work from the opening packet or its data
-on, until the caller acknowledges more than it had when it asked, closes or is silent.
+Servers answer callers directly, so this VM sees no answers. A request counts as in
+progress from its SYN packet or data until the caller acknowledges part of the answer,
+closes the flow or has been silent for too long.
 """
 
 from __future__ import annotations
@@ -13,280 +14,327 @@
 from kumquatmux_core.latencies import Latencies
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.work import SharedWork, ZoneWork
+from kumquatmux_tokens.work import PeerLoad, ServerLoad
 
 SEQUENCE_SPACE = 1 << 32
-HALF_SPACE = 1 << 31
+HALF_SEQUENCE_SPACE = 1 << 31
 
 
 class Flow:
-    """One flow as this VM has seen it.
+    """State of one flow, derived from the caller's packets.
 
     Attributes:
-        token: The server's token.
-        tried: Tokens that copies of the opening packet went to.
-        is_open: Whether the caller was seen to go on after the opening packet.
-        placed_at: When the latest opening packet was sent on.
-        seen_at: When its latest packet came.
-        busy_since: When the request in progress began, None for none.
-        asked_at: When the latest data came first.
-        repeats: How often that data came again without an answer.
-        asked_ack: What the caller had of the answers when it asked.
-        has_asked: Whether it carried a request before.
-        end: Place after the last byte of the caller's data.
+        token: Token of the flow's server.
+        tried_tokens: Tokens of the servers that the flow's SYN packets were sent to.
+        is_established: Whether the caller has sent a packet after its SYN.
+        syn_forwarded_at: Time when the latest SYN packet was forwarded.
+        last_packet_at: Time when the latest packet arrived.
+        request_sent_at: Time of the latest SYN or new data of the request in progress,
+            None if there is no request in progress.
+        last_data_at: Time when the latest new data arrived.
+        retransmissions: Number of retransmissions of that data without an answer.
+        baseline_ack_number: Acknowledgment number when the latest new data or answer
+            was seen; a later one shows that the server has answered.
+        has_sent_request: Whether the caller has sent a request on the flow.
+        next_sequence_number: Sequence number after the last byte of the caller's data.
     """
 
     __slots__ = (
-        "asked_ack",
-        "asked_at",
-        "busy_since",
-        "end",
-        "has_asked",
-        "is_open",
-        "placed_at",
-        "repeats",
-        "seen_at",
+        "baseline_ack_number",
+        "last_data_at",
+        "request_sent_at",
+        "next_sequence_number",
+        "has_sent_request",
+        "is_established",
+        "syn_forwarded_at",
+        "retransmissions",
+        "last_packet_at",
         "token",
-        "tried",
+        "tried_tokens",
     )
 
     def __init__(self, token: int, now: float) -> None:
         self.token = token
-        self.tried: tuple[int, ...] = ()
-        self.is_open = False
-        self.placed_at = now
-        self.seen_at = now
-        self.busy_since: float | None = None
-        self.asked_at = now
-        self.repeats = 0
-        self.asked_ack = 0
-        self.has_asked = False
-        self.end = 0
+        self.tried_tokens: tuple[int, ...] = ()
+        self.is_established = False
+        self.syn_forwarded_at = now
+        self.last_packet_at = now
+        self.request_sent_at: float | None = None
+        self.last_data_at = now
+        self.retransmissions = 0
+        self.baseline_ack_number = 0
+        self.has_sent_request = False
+        self.next_sequence_number = 0
 
 
-class Work:
-    """The work at one server that passes this VM.
+class LocalLoad:
+    """Load that the flows through this VM put on one server.
 
     Attributes:
-        busy: Requests in progress.
-        open: Open flows.
-        strikes: Opening packets in a row that it left unanswered.
-        avoided_until: Until when flows go elsewhere if they can.
-        answered_at: When it last showed that it answers.
+        active_requests: Requests in progress.
+        open_flows: Open flows.
+        unanswered_syns: Consecutive SYN packets that the server left unanswered.
+        avoided_until: Time until which new flows go to other servers if possible.
+        last_answer_at: Time of the latest evidence that the server answers.
     """
 
-    __slots__ = ("answered_at", "avoided_until", "busy", "open", "strikes")
+    __slots__ = (
+        "last_answer_at",
+        "avoided_until",
+        "active_requests",
+        "open_flows",
+        "unanswered_syns",
+    )
 
     def __init__(self) -> None:
-        self.busy = 0
-        self.open = 0
-        self.strikes = 0
+        self.active_requests = 0
+        self.open_flows = 0
+        self.unanswered_syns = 0
         self.avoided_until = -math.inf
-        self.answered_at = -math.inf
+        self.last_answer_at = -math.inf
 
 
-class LoadTable:
-    """Flows and the work that they make.
+class LoadTracker:
+    """Flows through this VM and the load on each server.
 
     Attributes:
-        flows: Flows by name.
-        work: Own work by token.
-        zone: Work that passes the other VMs of the zone.
-        silent_zones: Other zones that do not answer, so that their servers are
-            likely out of reach.
-        latencies: How long callers waited for handshakes and first answers.
+        flows: Flows by flow key.
+        local_loads: Load that flows through this VM cause, by token.
+        zone: Load that other VMs of the zone report.
+        forwarded_syns: Times and flow keys of forwarded SYN packets, oldest first.
+        follow_up_share: Share of a route's requests that follow another one on their
+            flow.
+        silent_zones: Other zones that do not answer, so that their servers are probably
+            unreachable.
+        latencies: Histograms of the handshake time and the time to the first answer.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
         self.flows: dict[bytes, Flow] = {}
-        self.work: dict[int, Work] = {}
-        self.zone = ZoneWork(settings)
-        self.openings: deque[tuple[float, bytes]] = deque()
-        self.long: dict[bytes, float] = {}
+        self.local_loads: dict[int, LocalLoad] = {}
+        self.zone = PeerLoad(settings)
+        self.forwarded_syns: deque[tuple[float, bytes]] = deque()
+        self.follow_up_share: dict[bytes, float] = {}
         self.silent_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
 
-    def work_at(self, token: int) -> Work:
-        """Return the work at a server."""
-        found = self.work.get(token)
-        if found is None:
-            found = self.work[token] = Work()
-        return found
-
-    def is_long(self, route: bytes) -> bool:
-        """Return whether flows of a route mostly carry many requests."""
-        return self.long.get(route, 0.0) > self.settings.long_share
-
-    def place(self, head: Head, token: int, now: float) -> Flow:
-        """Count a flow whose opening packet goes to a server."""
-        flow = self.flows.get(head.flow)
-        if flow is None or flow.is_open:
-            self._remove(head.flow)
-            flow = self.flows[head.flow] = Flow(token, now)
-            self.work_at(token).open += 1
+    def local_load_at(self, token: int) -> LocalLoad:
+        """Return the load that flows through this VM put on a server."""
+        load = self.local_loads.get(token)
+        if load is None:
+            load = self.local_loads[token] = LocalLoad()
+        return load
+
+    def expects_many_requests(self, route_address: bytes) -> bool:
+        """Return whether the flows of a route are likely to carry many requests."""
+        return (
+            self.follow_up_share.get(route_address, 0.0)
+            > self.settings.follow_up_share_threshold
+        )
+
+    def record_syn(self, header: Head, token: int, now: float) -> Flow:
+        """Record that a flow's SYN packet goes to a server; return the flow."""
+        flow = self.flows.get(header.flow)
+        if flow is None or flow.is_established:
+            self._remove(header.flow)
+            flow = self.flows[header.flow] = Flow(token, now)
+            self.local_load_at(token).open_flows += 1
         elif flow.token != token:
-            self._set_idle(flow)
-            self.work_at(flow.token).open -= 1
+            self._end_request(flow)
+            self.local_load_at(flow.token).open_flows -= 1
             flow.token = token
-            self.work_at(token).open += 1
-        if token not in flow.tried:
-            flow.tried = (*flow.tried, token)
-        flow.placed_at = now
-        flow.seen_at = now
-        self._set_busy(flow, now)
-        self.openings.append((now, head.flow))
+            self.local_load_at(token).open_flows += 1
+        if token not in flow.tried_tokens:
+            flow.tried_tokens = (*flow.tried_tokens, token)
+        flow.syn_forwarded_at = now
+        flow.last_packet_at = now
+        self._start_request(flow, now)
+        self.forwarded_syns.append((now, header.flow))
         return flow
 
-    def strike(self, flow: Flow, now: float) -> bool:
-        """Hold a copy of an opening packet against the server tried before."""
-        work = self.work_at(flow.token)
-        if work.answered_at > flow.placed_at:
+    def record_unanswered_syn(self, flow: Flow, now: float) -> bool:
+        """Record, when a SYN is retransmitted, that its server did not answer.
+
+        Returns:
+            False if the server has answered a caller since the SYN was forwarded, so
+            that nothing is recorded.
+        """
+        load = self.local_load_at(flow.token)
+        if load.last_answer_at > flow.syn_forwarded_at:
             return False
-        span = self.settings.strike_s * 2**work.strikes
-        work.strikes += 1
-        work.avoided_until = now + min(span, self.settings.strike_max_s)
+        backoff_s = self.settings.server_avoidance_s * 2**load.unanswered_syns
+        load.unanswered_syns += 1
+        load.avoided_until = now + min(backoff_s, self.settings.server_avoidance_max_s)
         return True
 
-    def note(self, head: Head, token: int, now: float) -> None:
-        """Learn from a packet of an open flow."""
-        flow = self.flows.get(head.flow)
+    def record_packet(self, header: Head, token: int, now: float) -> None:
+        """Update the load from a packet that is not a SYN."""
+        flow = self.flows.get(header.flow)
         if flow is None:
-            flow = self.flows[head.flow] = Flow(token, now)
-            flow.end = head.sequence
-            flow.has_asked = True
-            self.work_at(token).open += 1
-        flow.seen_at = now
-        if not flow.is_open:
-            self._open(flow, token, head, now)
-        if head.is_closing:
-            self._remove(head.flow)
+            flow = self.flows[header.flow] = Flow(token, now)
+            flow.next_sequence_number = header.sequence
+            flow.has_sent_request = True
+            self.local_load_at(token).open_flows += 1
+        flow.last_packet_at = now
+        if not flow.is_established:
+            self._establish(flow, token, header, now)
+        if header.is_closing:
+            self._remove(header.flow)
             return
-        if head.length and _is_after(head.sequence + head.length, flow.end):
-            flow.end = (head.sequence + head.length) % SEQUENCE_SPACE
-            flow.asked_ack = head.acknowledged
-            flow.asked_at = now
-            flow.repeats = 0
-            self._count_request(flow, head)
-            self._set_busy(flow, now)
-        elif _is_after(head.acknowledged, flow.asked_ack):
-            flow.asked_ack = head.acknowledged
-            flow.repeats = 0
-            self.work_at(flow.token).answered_at = now
-            if flow.busy_since is not None:
-                self.latencies.record("first-answer", now - flow.busy_since)
-            self._set_idle(flow)
-        elif head.length:
-            flow.repeats += 1
-
-    def is_unanswered(self, key: bytes, now: float) -> bool:
-        """Return whether a caller repeats itself to a server that answers nobody here.
-
-        Long work alone does not look like this: other callers get their answers.
+        if header.length and _is_sequence_after(
+            header.sequence + header.length, flow.next_sequence_number
+        ):
+            flow.next_sequence_number = (
+                header.sequence + header.length
+            ) % SEQUENCE_SPACE
+            flow.baseline_ack_number = header.acknowledged
+            flow.last_data_at = now
+            flow.retransmissions = 0
+            self._update_follow_up_share(flow, header)
+            self._start_request(flow, now)
+        elif _is_sequence_after(header.acknowledged, flow.baseline_ack_number):
+            flow.baseline_ack_number = header.acknowledged
+            flow.retransmissions = 0
+            self.local_load_at(flow.token).last_answer_at = now
+            if flow.request_sent_at is not None:
+                self.latencies.record("first-answer", now - flow.request_sent_at)
+            self._end_request(flow)
+        elif header.length:
+            flow.retransmissions += 1
+
+    def is_server_unresponsive(self, flow_key: bytes, now: float) -> bool:
+        """Return whether a caller retransmits data and its server answers no caller.
+
+        Only callers whose packets pass this VM are considered. A request that merely
+        takes long does not match, as other callers get answers.
         """
-        flow = self.flows.get(key)
-        if flow is None or flow.repeats < self.settings.silent_repeats:
+        flow = self.flows.get(flow_key)
+        if (
+            flow is None
+            or flow.retransmissions < self.settings.lost_flow_retransmissions
+        ):
             return False
-        is_long = now - flow.asked_at >= self.settings.silent_s
-        return is_long and self.work_at(flow.token).answered_at <= flow.asked_at
+        is_overdue = now - flow.last_data_at >= self.settings.lost_flow_min_s
+        return (
+            is_overdue
+            and self.local_load_at(flow.token).last_answer_at <= flow.last_data_at
+        )
 
-    def is_struck(self, token: int) -> bool:
-        """Return whether a server left an opening packet unanswered, here or near."""
-        if self.work_at(token).strikes:
+    def has_unanswered_syns(self, token: int) -> bool:
+        """Return whether a server left a SYN packet unanswered.
+
+        Reports of the other VMs of the zone count too.
+        """
+        if self.local_load_at(token).unanswered_syns:
             return True
-        total = self.zone.totals.get(token)
-        return total is not None and total.avoided > 0
+        peer_load = self.zone.totals.get(token)
+        return peer_load is not None and peer_load.avoiding_vms > 0
 
-    def drop(self, key: bytes) -> None:
-        """Count a flow no longer."""
-        self._remove(key)
+    def remove_flow(self, flow_key: bytes) -> None:
+        """Remove a flow and its load."""
+        self._remove(flow_key)
 
-    def expire_openings(self, now: float) -> None:
-        """Count a placed flow as work no longer if its caller did not go on here.
+    def expire_syn_requests(self, now: float) -> None:
+        """Stop counting the request of a SYN packet if its caller sent nothing more.
 
-        The caller has given up, took another server, or its packets pass another VM.
+        The caller has given up, uses another server, or its packets pass another VM.
         """
-        limit = now - self.settings.opening_s
-        while self.openings and self.openings[0][0] < limit:
-            placed_at, key = self.openings.popleft()
-            flow = self.flows.get(key)
-            if flow and not flow.is_open and flow.placed_at == placed_at:
-                self._set_idle(flow)
-
-    def sweep(self, now: float) -> None:
-        """Stop counting what has been silent for long."""
-        self.zone.sweep(now)
-        idle = now - self.settings.flow_idle_s
-        busy = now - self.settings.busy_s
-        for key, flow in list(self.flows.items()):
-            if flow.seen_at < idle:
-                self._remove(key)
-            elif flow.busy_since is not None and flow.busy_since < busy:
-                self._set_idle(flow)
-        for token, work in list(self.work.items()):
-            is_unused = not work.open and work.avoided_until < now
-            if is_unused and work.answered_at < idle:
-                del self.work[token]
-
-    def told(self, now: float) -> list[SharedWork]:
-        """Return the work that other VMs of the zone may be told."""
-        self.expire_openings(now)
+        limit = now - self.settings.handshake_timeout_s
+        while self.forwarded_syns and self.forwarded_syns[0][0] < limit:
+            forwarded_at, flow_key = self.forwarded_syns.popleft()
+            flow = self.flows.get(flow_key)
+            if (
+                flow
+                and not flow.is_established
+                and flow.syn_forwarded_at == forwarded_at
+            ):
+                self._end_request(flow)
+
+    def remove_expired(self, now: float) -> None:
+        """Remove flows, requests and servers that have been idle for too long."""
+        self.zone.remove_expired(now)
+        idle_limit = now - self.settings.flow_idle_timeout_s
+        request_limit = now - self.settings.request_timeout_s
+        for flow_key, flow in list(self.flows.items()):
+            if flow.last_packet_at < idle_limit:
+                self._remove(flow_key)
+            elif (
+                flow.request_sent_at is not None
+                and flow.request_sent_at < request_limit
+            ):
+                self._end_request(flow)
+        for token, load in list(self.local_loads.items()):
+            is_unused = not load.open_flows and load.avoided_until < now
+            if is_unused and load.last_answer_at < idle_limit:
+                del self.local_loads[token]
+
+    def reportable_loads(self, now: float) -> list[ServerLoad]:
+        """Return the load to report to the other VMs of the zone."""
+        self.expire_syn_requests(now)
         return [
-            SharedWork(token, one.busy, one.open, one.avoided_until > now)
-            for token, one in self.work.items()
-            if one.open or one.avoided_until > now
+            ServerLoad(
+                token, load.active_requests, load.open_flows, load.avoided_until > now
+            )
+            for token, load in self.local_loads.items()
+            if load.open_flows or load.avoided_until > now
         ]
 
-    def _open(self, flow: Flow, token: int, head: Head, now: float) -> None:
-        """The caller goes on with a server, not always the one tried last."""
-        flow.is_open = True
-        flow.asked_ack = head.acknowledged
-        flow.end = head.sequence
+    def _establish(self, flow: Flow, token: int, header: Head, now: float) -> None:
+        """Mark a flow as open at the server that the caller continues with.
+
+        This is not always the server that the latest SYN packet was sent to.
+        """
+        flow.is_established = True
+        flow.baseline_ack_number = header.acknowledged
+        flow.next_sequence_number = header.sequence
         if flow.token != token:
-            is_busy = flow.busy_since is not None
-            self._set_idle(flow)
-            self.work_at(flow.token).open -= 1
+            has_request = flow.request_sent_at is not None
+            self._end_request(flow)
+            self.local_load_at(flow.token).open_flows -= 1
             flow.token = token
-            self.work_at(token).open += 1
-            if is_busy:
-                self._set_busy(flow, now)
-        if flow.tried:
-            self._note_handshake(flow, now)
-
-    def _note_handshake(self, flow: Flow, now: float) -> None:
-        """The server answered the opening packet that this VM had sent on."""
-        self.latencies.record("handshake", now - flow.placed_at)
-        work = self.work_at(flow.token)
-        work.strikes = 0
-        work.avoided_until = -math.inf
-        work.answered_at = now
-
-    def _count_request(self, flow: Flow, head: Head) -> None:
-        """Learn whether a route's requests follow others on their flow."""
-        if flow.busy_since is not None and flow.has_asked:
+            self.local_load_at(token).open_flows += 1
+            if has_request:
+                self._start_request(flow, now)
+        if flow.tried_tokens:
+            self._record_handshake(flow, now)
+
+    def _record_handshake(self, flow: Flow, now: float) -> None:
+        """Record that the server answered the SYN packet that this VM forwarded."""
+        self.latencies.record("handshake", now - flow.syn_forwarded_at)
+        load = self.local_load_at(flow.token)
+        load.unanswered_syns = 0
+        load.avoided_until = -math.inf
+        load.last_answer_at = now
+
+    def _update_follow_up_share(self, flow: Flow, header: Head) -> None:
+        """Update a route's share of requests that follow another on their flow."""
+        if flow.request_sent_at is not None and flow.has_sent_request:
             return
-        share = self.long.get(head.route, 0.0)
-        step = self.settings.share_step
-        self.long[head.route] = share + step * (float(flow.has_asked) - share)
-        flow.has_asked = True
-
-    def _set_busy(self, flow: Flow, now: float) -> None:
-        if flow.busy_since is None:
-            self.work_at(flow.token).busy += 1
-        flow.busy_since = now
-
-    def _set_idle(self, flow: Flow) -> None:
-        if flow.busy_since is not None:
-            self.work_at(flow.token).busy -= 1
-            flow.busy_since = None
-
-    def _remove(self, key: bytes) -> None:
-        flow = self.flows.pop(key, None)
+        share = self.follow_up_share.get(header.route, 0.0)
+        smoothing = self.settings.follow_up_share_smoothing
+        self.follow_up_share[header.route] = share + smoothing * (
+            float(flow.has_sent_request) - share
+        )
+        flow.has_sent_request = True
+
+    def _start_request(self, flow: Flow, now: float) -> None:
+        if flow.request_sent_at is None:
+            self.local_load_at(flow.token).active_requests += 1
+        flow.request_sent_at = now
+
+    def _end_request(self, flow: Flow) -> None:
+        if flow.request_sent_at is not None:
+            self.local_load_at(flow.token).active_requests -= 1
+            flow.request_sent_at = None
+
+    def _remove(self, flow_key: bytes) -> None:
+        flow = self.flows.pop(flow_key, None)
         if flow is not None:
-            self._set_idle(flow)
-            self.work_at(flow.token).open -= 1
+            self._end_request(flow)
+            self.local_load_at(flow.token).open_flows -= 1
 
 
-def _is_after(place: int, other: int) -> bool:
-    """Return whether a place of a sequence comes after another, around the end."""
-    return 0 < (place - other) % SEQUENCE_SPACE < HALF_SPACE
+def _is_sequence_after(number: int, reference: int) -> bool:
+    """Return whether a sequence number comes after another, allowing for wraparound."""
+    return 0 < (number - reference) % SEQUENCE_SPACE < HALF_SEQUENCE_SPACE
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -1,4 +1,4 @@
-"""Token routing on one entry VM: a packet and the time in, a decision out."""
+"""Router of one entry VM: decides what to do with each packet that callers send."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
-from kumquatmux_tokens.choice import Choice, Opening, choose
-from kumquatmux_tokens.directory import Directory, Entry
-from kumquatmux_tokens.load import LoadTable
+from kumquatmux_tokens.choice import NewFlow, Selection, select_server
+from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
+from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import (
     Ask,
     Decision,
@@ -21,279 +21,333 @@
     Reset,
     Wait,
 )
-from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion, Placers
+from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.waiting import Held, HeldTokens, WaitingOpenings
-from kumquatmux_tokens.work import LoadShare, SharedWork, Telling
+from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
+from kumquatmux_tokens.work import LoadShare, OutgoingReports, ServerLoad
 
-ANY_SEQUENCE = 0
+SYN_RESET_SEQUENCE_NUMBER = 0
 
 
 class TokenRouter:
-    """Routes a caller's packets by the token that both ends return.
+    """Routes callers' packets by the server token that both ends echo.
 
     Attributes:
-        directory: The servers that tokens stand for.
-        routes: The routes in force.
-        load: The work known at each server.
-        held: Packets whose token is being asked for.
-        waiting: Opening packets that no server could take yet.
-        placers: The VMs of the zone that choose servers.
-        tellings: What other VMs were told of the work seen here.
+        directory: Known servers by token.
+        routes: Routes in force.
+        load: Load on each server.
+        held: Packets that are buffered while their token is looked up.
+        waiting: SYN packets that are buffered until a server can take their flow.
+        placers: Selects the placement coordinator of each service.
+        outgoing_reports: State of the load reports to each other VM, by receiver.
+        report_count: Number of load reports sent.
+        last_served_at: Time when each service last had a server for a flow.
+        last_full_at: Time when another VM last answered that a service's servers are
+            full.
     """
 
     def __init__(self, settings: TokenSettings, random: Random, now: float) -> None:
         self.settings = settings
         self.random = random
         self.started_at = now
-        self.directory = Directory()
+        self.directory = ServerDirectory()
         self.routes = RouteTable()
-        self.load = LoadTable(settings)
-        self.held = HeldTokens(settings)
-        self.waiting = WaitingOpenings(settings)
-        self.placers = Placers(settings)
-        self.tellings: dict[VmId, Telling] = {}
-        self.shares = 0
-        self.served_at: dict[ServiceName, float] = {}
-        self.full_at: dict[ServiceName, float] = {}
-
-    def handle(self, head: Head, now: float) -> Decision:
-        """Return what is to be done with a packet."""
-        if head.is_opening:
-            return self._place(head, now)
-        return self._follow(head, now)
+        self.load = LoadTracker(settings)
+        self.held = TokenLookupBuffer(settings)
+        self.waiting = SynBuffer(settings)
+        self.placers = CoordinatorSelector(settings)
+        self.outgoing_reports: dict[VmId, OutgoingReports] = {}
+        self.report_count = 0
+        self.last_served_at: dict[ServiceName, float] = {}
+        self.last_full_at: dict[ServiceName, float] = {}
+
+    def handle(self, header: Head, now: float) -> Decision:
+        """Return the decision for a packet."""
+        if header.is_opening:
+            return self._route_syn(header, now)
+        return self._route_by_token(header, now)
 
     def install(self, routes: RouteSet, now: float) -> bool:
-        """Put a document's routes into force; return whether it was newer."""
+        """Install the routes of a newer document; return whether it was newer."""
         return self.routes.install(routes, now)
 
     def learn(self, record: ServerRecord, now: float) -> list[Held]:
-        """Take a server's record; return the packets that waited for it."""
-        self.directory.put(record, now)
-        return self.held.release(record.token)
+        """Store a server's record; return the packets buffered for its token."""
+        self.directory.store_record(record, now)
+        return self.held.pop_packets(record.token)
 
     def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
-        """Choose a server for a flow that opens at another VM of the zone."""
-        opening = Opening(question.tried, question.is_long, now)
-        choice = self._choose(question.service, opening)
-        me = self.settings.vm
-        if choice is None:
-            return PlaceAnswer(me, question.flow, 0, False, 0)
-        token = choice.entry.record.token
-        if choice.is_full:
-            return PlaceAnswer(me, question.flow, token, True, 0)
-        granted = self.load.zone.grant(question.sender, token, now)
-        return PlaceAnswer(me, question.flow, token, False, granted.number)
+        """Select a server for a flow whose SYN packet arrived at another VM."""
+        new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
+        selection = self._select_server(question.service, new_flow)
+        own_vm = self.settings.vm
+        if selection is None:
+            return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
+        token = selection.entry.record.token
+        if selection.is_full:
+            return PlaceAnswer(own_vm, question.flow_key, token, True, 0)
+        reservation = self.load.zone.reserve(question.sender, token, now)
+        return PlaceAnswer(own_vm, question.flow_key, token, False, reservation.number)
 
     def take_answer(self, answer: PlaceAnswer, now: float) -> Held | None:
-        """Take a choice; return the opening packet that may go on, if there is one."""
-        self.placers.answered(answer.sender, answer.flow)
-        held = self.waiting.by_flow.get(answer.flow)
-        if held is None:
+        """Process the answer to a placement request.
+
+        Returns:
+            The buffered SYN packet to forward now, None if there is none or every
+            server is full.
+        """
+        self.placers.record_answer(answer.sender, answer.flow_key)
+        packet = self.waiting.by_flow.get(answer.flow_key)
+        if packet is None:
             return None
-        route = self.routes.routes.get(held.head.route)
-        service = route.service_for(answer.flow) if route else ServiceName("")
+        route = self.routes.routes.get(packet.head.route)
+        service = route.select_service(answer.flow_key) if route else ServiceName("")
         if answer.is_full:
-            self.full_at[service] = now
+            self.last_full_at[service] = now
             return None
-        return held
+        return packet
 
-    def place_as(self, head: Head, answer: PlaceAnswer, now: float) -> Decision:
-        """Send an opening packet to the server chosen for it, if that may take it."""
-        route = self.routes.routes.get(head.route)
+    def place_as(self, header: Head, answer: PlaceAnswer, now: float) -> Decision:
+        """Return the decision for a SYN packet whose server another VM selected.
+
+        If that server is unknown here or accepts no new flows, this VM selects one.
+        """
+        route = self.routes.routes.get(header.route)
         if route is None:
-            return self._without_route(head)
-        service = route.service_for(head.flow)
-        entry = self.directory.open_entry(answer.token)
+            return self._decide_without_route(header)
+        service = route.select_service(header.flow)
+        entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
-            return self._place_here(head, service, now)
-        self._telling(answer.sender).grant = answer.grant
-        self.served_at[service] = now
-        self.load.place(head, answer.token, now)
-        self._log_placed(head, entry, now, placer=answer.sender)
+            return self._place_locally(header, service, now)
+        self._reports_to(answer.sender).used_reservation = answer.reservation_number
+        self.last_served_at[service] = now
+        self.load.record_syn(header, answer.token, now)
+        self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
     def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
-        """Return what other VMs of the zone are to be told of the work seen here."""
-        groups = self._work_by_vm(now)
-        told = []
-        for vm in groups.keys() | self.tellings.keys():
-            if vm not in self.placers.peers:
-                self.tellings.pop(vm, None)
+        """Return the load reports that are due, each with its receiver."""
+        loads_by_receiver = self._loads_by_receiver(now)
+        due_reports = []
+        for vm in loads_by_receiver.keys() | self.outgoing_reports.keys():
+            if vm not in self.placers.entry_vms:
+                self.outgoing_reports.pop(vm, None)
                 continue
-            share = self._telling(vm).news(
+            load_report = self._reports_to(vm).next_report(
                 self.settings.vm,
-                self.shares + 1,
-                groups.get(vm, []),
+                self.report_count + 1,
+                loads_by_receiver.get(vm, []),
                 now,
-                self.settings.share_all_s,
+                self.settings.complete_report_interval_s,
             )
-            if share is not None:
-                self.shares += 1
-                told.append((vm, share))
-        return told
+            if load_report is not None:
+                self.report_count += 1
+                due_reports.append((vm, load_report))
+        return due_reports
 
     def sweep(self, now: float) -> None:
-        """Drop what has waited or been silent too long."""
-        self.load.sweep(now)
-        self.directory.forget(now - 2 * self.settings.flow_idle_s - 90.0)
-        self.held.sweep(now)
-        self.placers.sweep(now)
-
-    def _place(self, head: Head, now: float) -> Decision:
-        route = self.routes.routes.get(head.route)
+        """Remove expired flows, servers, buffered packets and placement requests."""
+        self.load.remove_expired(now)
+        self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
+        self.held.remove_expired(now)
+        self.placers.remove_expired(now)
+
+    def _route_syn(self, header: Head, now: float) -> Decision:
+        route = self.routes.routes.get(header.route)
         if route is None:
-            return self._without_route(head)
-        service = route.service_for(head.flow)
-        flow = self.load.flows.get(head.flow)
-        is_copy = flow is not None and not flow.is_open
-        is_soon = flow is not None and now - flow.placed_at < self.settings.copy_gap_s
-        if flow is not None and is_copy and head.copy and not is_soon:
-            if self.load.strike(flow, now):
-                self._log_strike(head, flow.token)
-        elif flow is not None and is_copy:
+            return self._decide_without_route(header)
+        service = route.select_service(header.flow)
+        flow = self.load.flows.get(header.flow)
+        is_retransmission = flow is not None and not flow.is_established
+        is_too_soon = (
+            flow is not None
+            and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
+        )
+        if flow is not None and is_retransmission and header.copy and not is_too_soon:
+            if self.load.record_unanswered_syn(flow, now):
+                self._log_unanswered_syn(header, flow.token)
+        elif flow is not None and is_retransmission:
             entry = self.directory.by_token.get(flow.token)
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, flow.token)
-        tried = flow.tried if flow is not None and is_copy else ()
-        if head.flow in self.placers.asked:
-            if self.placers.is_open(head.flow, now):
+        tried_tokens = (
+            flow.tried_tokens if flow is not None and is_retransmission else ()
+        )
+        if header.flow in self.placers.pending_requests:
+            if self.placers.is_pending(header.flow, now):
                 return Wait("asked")
-            return self._place_here(head, service, now)
-        placer = self.placers.placer(service, now)
-        if placer == self.settings.vm:
-            return self._place_here(head, service, now)
-        if self._is_full(service, now):
+            return self._place_locally(header, service, now)
+        coordinator = self.placers.placer(service, now)
+        if coordinator == self.settings.vm:
+            return self._place_locally(header, service, now)
+        if self._is_placement_paused(service, now):
             return Wait("no-slot")
-        self.placers.ask(placer, head.flow, now)
-        is_long = self.load.is_long(head.route)
-        me = self.settings.vm
-        return Ask(placer, PlaceQuestion(me, head.flow, service, tried, is_long))
-
-    def _place_here(self, head: Head, service: ServiceName, now: float) -> Decision:
-        flow = self.load.flows.get(head.flow)
-        tried = flow.tried if flow is not None and not flow.is_open else ()
-        opening = Opening(tried, self.load.is_long(head.route), now)
-        choice = self._choose(service, opening)
-        if choice is None:
-            return self._without_server(head, service, now)
-        self.served_at[service] = now
-        if choice.is_full:
+        self.placers.record_request(coordinator, header.flow, now)
+        expects_many_requests = self.load.expects_many_requests(header.route)
+        own_vm = self.settings.vm
+        return Ask(
+            coordinator,
+            PlaceQuestion(
+                own_vm, header.flow, service, tried_tokens, expects_many_requests
+            ),
+        )
+
+    def _place_locally(
+        self, header: Head, service: ServiceName, now: float
+    ) -> Decision:
+        flow = self.load.flows.get(header.flow)
+        tried_tokens = (
+            flow.tried_tokens if flow is not None and not flow.is_established else ()
+        )
+        new_flow = NewFlow(
+            tried_tokens, self.load.expects_many_requests(header.route), now
+        )
+        selection = self._select_server(service, new_flow)
+        if selection is None:
+            return self._decide_without_server(header, service, now)
+        self.last_served_at[service] = now
+        if selection.is_full:
             return Wait("no-slot")
-        token = choice.entry.record.token
-        self.load.place(head, token, now)
-        self._log_placed(
-            head,
-            choice.entry,
+        token = selection.entry.record.token
+        self.load.record_syn(header, token, now)
+        self._log_placement(
+            header,
+            selection.entry,
             now,
-            cost=round(choice.cost, 3),
-            candidates=choice.candidates,
-            grade=choice.grade,
+            cost=round(selection.cost, 3),
+            candidates=selection.candidate_count,
+            grade=selection.priority_level,
         )
-        return Forward(choice.entry.record, token)
+        return Forward(selection.entry.record, token)
 
-    def _is_full(self, service: ServiceName, now: float) -> bool:
-        """Return whether another VM said a moment ago that all servers are full.
+    def _is_placement_paused(self, service: ServiceName, now: float) -> bool:
+        """Return whether to send no placement request because all servers were full.
 
-        Else it would be asked for each opening that waits at each tick, and do little
-        but refuse.
+        Without this limit, every waiting SYN packet would be sent as a placement
+        request at every tick, and the other VM would do little but refuse them.
         """
-        full_s = now - self.full_at.get(service, -math.inf)
-        if full_s < self.settings.full_s:
+        since_full_s = now - self.last_full_at.get(service, -math.inf)
+        if since_full_s < self.settings.placement_pause_s:
             return True
-        is_cautious = full_s < self.settings.cautious_s
-        return is_cautious and len(self.placers.asked) >= self.settings.cautious_asked
-
-    def _choose(self, service: ServiceName, opening: Opening) -> Choice | None:
-        clashing = self.directory.clashing
-        entries = self.directory.servers(service)
-        if clashing:
-            entries = [one for one in entries if one.record.token not in clashing]
-        return choose(entries, opening, self.load, self.random)
-
-    def _telling(self, vm: VmId) -> Telling:
-        return self.tellings.setdefault(vm, Telling())
-
-    def _work_by_vm(self, now: float) -> dict[VmId, list[SharedWork]]:
-        """Return the work of which each other VM is to know."""
-        work = self.load.told(now)
-        others = [vm for vm in self.placers.peers if vm != self.settings.vm]
-        if len(others) < self.settings.tell_all:
-            return {vm: work for vm in others}
-        groups: dict[VmId, list[SharedWork]] = {}
-        for one in work:
-            entry = self.directory.by_token.get(one.token)
+        is_limited = since_full_s < self.settings.limited_placement_s
+        return (
+            is_limited
+            and len(self.placers.pending_requests)
+            >= self.settings.limited_placement_requests
+        )
+
+    def _select_server(
+        self, service: ServiceName, new_flow: NewFlow
+    ) -> Selection | None:
+        colliding_tokens = self.directory.colliding_tokens
+        entries = self.directory.running_servers(service)
+        if colliding_tokens:
+            entries = [
+                entry for entry in entries if entry.record.token not in colliding_tokens
+            ]
+        return select_server(entries, new_flow, self.load, self.random)
+
+    def _reports_to(self, vm: VmId) -> OutgoingReports:
+        return self.outgoing_reports.setdefault(vm, OutgoingReports())
+
+    def _loads_by_receiver(self, now: float) -> dict[VmId, list[ServerLoad]]:
+        """Return the load to report to each other VM.
+
+        In a zone with more than ``full_reporting_max_vms`` entry VMs, the load on a
+        server is reported only to the placement coordinator of its service.
+        """
+        loads = self.load.reportable_loads(now)
+        receivers = [vm for vm in self.placers.entry_vms if vm != self.settings.vm]
+        if len(receivers) < self.settings.full_reporting_max_vms:
+            return {vm: loads for vm in receivers}
+        by_receiver: dict[VmId, list[ServerLoad]] = {}
+        for server_load in loads:
+            entry = self.directory.by_token.get(server_load.token)
             if entry is None:
                 continue
-            placer = self.placers.placer(entry.record.report.service, now)
-            if placer != self.settings.vm:
-                groups.setdefault(placer, []).append(one)
-        return groups
-
-    def _follow(self, head: Head, now: float) -> Decision:
-        flow = self.load.flows.get(head.flow)
-        token = head.token
-        if flow is not None and flow.is_open and token in flow.tried:
+            coordinator = self.placers.placer(entry.record.report.service, now)
+            if coordinator != self.settings.vm:
+                by_receiver.setdefault(coordinator, []).append(server_load)
+        return by_receiver
+
+    def _route_by_token(self, header: Head, now: float) -> Decision:
+        flow = self.load.flows.get(header.flow)
+        token = header.token
+        if flow is not None and flow.is_established and token in flow.tried_tokens:
             token = flow.token
         entry = self.directory.by_token.get(token)
         if entry is None:
             return Hold(token) if token else Drop("no-token")
-        if self.routes.is_gone(head.route, now - self.settings.route_gone_s):
-            return Reset(head.acknowledged, "route-removed")
+        if self.routes.was_removed_before(
+            header.route, now - self.settings.removed_route_grace_s
+        ):
+            return Reset(header.acknowledged, "route-removed")
         ended_at = entry.ended_at
-        if ended_at is not None and ended_at < now - self.settings.ended_s:
-            return Reset(head.acknowledged, "server-ended")
-        self.load.note(head, token, now)
-        if self._is_lost(head, entry.record, now):
-            self.load.drop(head.flow)
-            return Reset(head.acknowledged, "server-silent")
+        if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
+            return Reset(header.acknowledged, "server-ended")
+        self.load.record_packet(header, token, now)
+        if self._is_server_lost(header, entry.record, now):
+            self.load.remove_flow(header.flow)
+            return Reset(header.acknowledged, "server-silent")
         return Forward(entry.record, token)
 
-    def _is_lost(self, head: Head, record: ServerRecord, now: float) -> bool:
-        """Return whether a flow's server is gone, by two kinds of evidence.
+    def _is_server_lost(self, header: Head, record: ServerRecord, now: float) -> bool:
+        """Return whether a flow's server is gone, judged by two kinds of evidence.
 
-        Its caller repeats itself while the server answers nobody here, and besides
-        its reports stopped, its zone is silent or opening packets go unanswered.
+        The caller retransmits while the server answers no caller of this VM. In
+        addition, the server's reports are overdue, its zone is unreachable, or SYN
+        packets to it went unanswered.
         """
-        if not head.length or not self.load.is_unanswered(head.flow, now):
+        if not header.length or not self.load.is_server_unresponsive(header.flow, now):
             return False
-        is_cut_off = record.report.zone in self.load.silent_zones
-        return record.is_late or is_cut_off or self.load.is_struck(record.token)
+        is_zone_unreachable = record.report.zone in self.load.silent_zones
+        return (
+            record.is_late
+            or is_zone_unreachable
+            or self.load.has_unanswered_syns(record.token)
+        )
 
-    def _without_route(self, head: Head) -> Decision:
+    def _decide_without_route(self, header: Head) -> Decision:
         if not self.routes.number:
             return Wait("no-document")
-        return Reset(ANY_SEQUENCE, "no-route")
+        return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
 
-    def _without_server(self, head: Head, service: ServiceName, now: float) -> Decision:
-        """Refuse at once unless a server is likely to come while the caller waits."""
-        latest = self.served_at.get(service, self.started_at)
-        if latest > now - self.settings.known_s:
+    def _decide_without_server(
+        self, header: Head, service: ServiceName, now: float
+    ) -> Decision:
+        """Return the decision for a SYN packet of a service without servers.
+
+        The packet waits if a server is likely to come while the caller waits, that is,
+        if the service had one, or this VM started, at most ``server_wait_s`` seconds
+        ago. Otherwise the flow is refused at once.
+        """
+        waiting_since = self.last_served_at.get(service, self.started_at)
+        if waiting_since > now - self.settings.server_wait_s:
             return Wait("no-server-yet")
-        return Reset(ANY_SEQUENCE, "no-server")
+        return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
 
-    def _log_placed(
-        self, head: Head, entry: Entry, now: float, **grounds: float | str
+    def _log_placement(
+        self, header: Head, entry: ServerEntry, now: float, **details: float | str
     ) -> None:
         report = entry.record.report
         log_decision(
             "flow-placed",
-            flow=head.flow.hex(),
-            copy=head.copy,
+            flow=header.flow.hex(),
+            copy=header.copy,
             document=self.routes.number,
             service=report.service,
             server=report.lifetime,
             token=entry.record.token,
-            known_s=round(now - entry.known_at, 1),
-            **grounds,
+            known_s=round(now - entry.first_known_at, 1),
+            **details,
         )
 
-    def _log_strike(self, head: Head, token: int) -> None:
-        work = self.load.work_at(token)
+    def _log_unanswered_syn(self, header: Head, token: int) -> None:
+        local_load = self.load.local_load_at(token)
         log_decision(
             "server-unanswered",
-            flow=head.flow.hex(),
+            flow=header.flow.hex(),
             token=token,
-            strikes=work.strikes,
+            strikes=local_load.unanswered_syns,
         )
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -1,4 +1,4 @@
-"""The routes in force and those that were removed lately."""
+"""Routes in force and recently removed routes."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 
 
 class Share(NamedTuple):
-    """A service and its part of a route's new flows.
+    """A service with its weight on a route.
 
     Attributes:
-        service: The service.
-        weight: Its weight among the route's shares.
+        service: Name of the service.
+        weight: Share of the route's new flows, relative to the other weights.
     """
 
     service: ServiceName
@@ -22,37 +22,41 @@
 
 
 class Route(NamedTuple):
-    """Where new flows to one address and port go.
+    """Assignment of the new flows to one address and port to services.
 
     Attributes:
-        name: Its name.
-        address: 6 bytes: the address and port that callers send to.
-        shares: The services, at least one of them with a weight above 0.
+        name: Name of the route.
+        address: 6 bytes: the IPv4 address and port that callers send to.
+        shares: Weighted services, at least one of them with a weight above 0.
     """
 
     name: str
     address: Address
     shares: tuple[Share, ...]
 
-    def service_for(self, flow: bytes) -> ServiceName:
-        """Return the service of a flow, the same for each copy of its first packet."""
-        total = sum(share.weight for share in self.shares)
-        point = xxhash.xxh3_64_intdigest(flow) % total
+    def select_service(self, flow_key: bytes) -> ServiceName:
+        """Return the service of a flow, which is the same for every SYN of the flow.
+
+        Raises:
+            AssertionError: No service has a weight above 0.
+        """
+        total_weight = sum(share.weight for share in self.shares)
+        hash_point = xxhash.xxh3_64_intdigest(flow_key) % total_weight
         for share in self.shares:
-            if point < share.weight:
+            if hash_point < share.weight:
                 return share.service
-            point -= share.weight
-        raise AssertionError(f"route {self.name} has no weight")
+            hash_point -= share.weight
+        raise AssertionError(f"route {self.name} has no service with a weight above 0")
 
 
 class RouteSet(NamedTuple):
-    """The content of one document as routing needs it.
+    """The part of a configuration document that routing needs.
 
     Attributes:
-        number: Number of the document, 0 for none.
-        routes: Its routes.
-        services: Names of its services.
-        idle_s: Seconds after which an idle flow may be given up.
+        number: Document number, 0 for no document.
+        routes: The document's routes.
+        services: Names of the document's services.
+        idle_s: Idle time in seconds after which a flow may be dropped.
     """
 
     number: int
@@ -62,33 +66,35 @@
 
 
 class RouteTable:
-    """Routes by address; a lower number never replaces a higher one.
+    """Routes in force, by address.
+
+    A document never replaces one with an equal or higher number.
 
     Attributes:
-        number: Number of the document in force.
-        routes: Its routes by address.
-        removed: When a route that is no longer there was removed.
+        number: Number of the document in force, 0 for none.
+        routes: Routes of that document, by address.
+        removed_at: Removal times of routes that are no longer in force, by address.
     """
 
     def __init__(self) -> None:
         self.number = 0
         self.routes: dict[bytes, Route] = {}
-        self.removed: dict[bytes, float] = {}
+        self.removed_at: dict[bytes, float] = {}
 
-    def install(self, routes: RouteSet, now: float) -> bool:
-        """Put a document's routes into force; return whether it was newer."""
-        if routes.number <= self.number:
+    def install(self, route_set: RouteSet, now: float) -> bool:
+        """Install the routes of a newer document; return whether it was newer."""
+        if route_set.number <= self.number:
             return False
-        former = self.routes
-        self.number = routes.number
-        self.routes = {route.address: route for route in routes.routes}
-        for address in former.keys() - self.routes.keys():
-            self.removed[address] = now
+        previous_routes = self.routes
+        self.number = route_set.number
+        self.routes = {route.address: route for route in route_set.routes}
+        for address in previous_routes.keys() - self.routes.keys():
+            self.removed_at[address] = now
         for address in self.routes:
-            self.removed.pop(address, None)
+            self.removed_at.pop(address, None)
         return True
 
-    def is_gone(self, address: bytes, since: float) -> bool:
-        """Return whether a route was removed before a time."""
-        removed = self.removed.get(address)
-        return removed is not None and removed < since
+    def was_removed_before(self, address: bytes, limit: float) -> bool:
+        """Return whether a route was removed before a given time."""
+        removed_at = self.removed_at.get(address)
+        return removed_at is not None and removed_at < limit
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -2,93 +2,107 @@
 
 import pytest
 
-from kumquatmux_tokens.load import LoadTable
+from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import Head
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare
 
-ROUTE = bytes([198, 18, 0, 1, 1, 187])
-FLOW = bytes(6) + ROUTE
-SYN = Head(FLOW, ROUTE, 0, True, False, 0, 100, 0, 0)
+ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
+FLOW_KEY = bytes(6) + ROUTE_ADDRESS
+SYN = Head(FLOW_KEY, ROUTE_ADDRESS, 0, True, False, 0, 100, 0, 0)
 
 
-def packet(sequence=101, acknowledged=500, length=0, closing=False):
-    return Head(FLOW, ROUTE, 7, False, closing, 0, sequence, acknowledged, length)
+def make_packet(sequence=101, acknowledged=500, length=0, is_closing=False):
+    return Head(
+        FLOW_KEY, ROUTE_ADDRESS, 7, False, is_closing, 0, sequence, acknowledged, length
+    )
 
 
 @pytest.fixture
-def load():
-    table = LoadTable(TokenSettings("e1", "a"))
-    table.place(SYN, 7, 0.0)
-    return table
-
-
-def test_a_placed_flow_counts_as_work_until_its_caller_went_on_elsewhere(load):
-    assert load.work[7].busy == 1
-    load.expire_openings(0.2)
-    assert load.work[7].busy == 1
-    load.expire_openings(0.3)
-    assert load.work[7].busy == 0
-
-
-def test_a_request_counts_until_the_caller_acknowledges_the_answer(load):
-    load.note(packet(length=900), 7, 0.01)
-    load.note(packet(sequence=1001), 7, 0.02)
-    assert load.work[7].busy == 1
-    load.note(packet(sequence=1001, acknowledged=1700), 7, 0.05)
-    assert load.work[7].busy == 0
-    assert load.work[7].open == 1
-
-
-def test_a_retransmission_is_no_further_request(load):
-    load.note(packet(length=900), 7, 0.01)
-    load.note(packet(sequence=1001, acknowledged=1700), 7, 0.05)
-    load.note(packet(length=900, acknowledged=1700), 7, 0.3)
-    assert load.work[7].busy == 0
-
-
-def test_a_close_ends_flow_and_work(load):
-    load.note(packet(length=900), 7, 0.01)
-    load.note(packet(sequence=1001, closing=True), 7, 0.02)
-    assert (load.work[7].busy, load.work[7].open) == (0, 0)
-
-
-def test_a_request_without_a_sign_is_not_counted_for_long(load):
-    load.note(packet(length=900), 7, 0.01)
-    load.sweep(0.6)
-    assert load.work[7].busy == 1
-    load.sweep(0.8)
-    assert load.work[7].busy == 0
-
-
-def test_an_idle_flow_is_forgotten(load):
-    load.note(packet(length=900), 7, 0.01)
-    load.sweep(16.0)
-    assert load.flows == {}
-
-
-def test_sequences_go_on_around_their_end(load):
-    load.note(packet(sequence=0xFFFFFFF0, length=0), 7, 0.01)
-    load.note(packet(sequence=0xFFFFFFF0, length=32), 7, 0.02)
-    load.note(packet(sequence=16, acknowledged=900), 7, 0.03)
-    assert load.work[7].busy == 0
-    load.note(packet(sequence=16, acknowledged=900, length=32), 7, 0.04)
-    assert load.work[7].busy == 1
-
-
-def test_a_route_whose_flows_carry_many_requests_is_long(load):
-    assert not load.is_long(ROUTE)
+def tracker():
+    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker.record_syn(SYN, 7, 0.0)
+    return load_tracker
+
+
+def test_syn_request_expires_if_the_caller_sends_nothing_more(tracker):
+    assert tracker.local_loads[7].active_requests == 1
+    tracker.expire_syn_requests(0.2)
+    assert tracker.local_loads[7].active_requests == 1
+    tracker.expire_syn_requests(0.3)
+    assert tracker.local_loads[7].active_requests == 0
+
+
+def test_request_is_active_until_its_answer_is_acknowledged(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.record_packet(make_packet(sequence=1001), 7, 0.02)
+    assert tracker.local_loads[7].active_requests == 1
+    tracker.record_packet(make_packet(sequence=1001, acknowledged=1700), 7, 0.05)
+    assert tracker.local_loads[7].active_requests == 0
+    assert tracker.local_loads[7].open_flows == 1
+
+
+def test_retransmission_is_not_counted_as_a_request(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.record_packet(make_packet(sequence=1001, acknowledged=1700), 7, 0.05)
+    tracker.record_packet(make_packet(length=900, acknowledged=1700), 7, 0.3)
+    assert tracker.local_loads[7].active_requests == 0
+
+
+def test_closing_a_flow_removes_its_load(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.record_packet(make_packet(sequence=1001, is_closing=True), 7, 0.02)
+    assert (
+        tracker.local_loads[7].active_requests,
+        tracker.local_loads[7].open_flows,
+    ) == (
+        0,
+        0,
+    )
+
+
+def test_unanswered_request_times_out(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.remove_expired(0.6)
+    assert tracker.local_loads[7].active_requests == 1
+    tracker.remove_expired(0.8)
+    assert tracker.local_loads[7].active_requests == 0
+
+
+def test_idle_flow_is_removed(tracker):
+    tracker.record_packet(make_packet(length=900), 7, 0.01)
+    tracker.remove_expired(16.0)
+    assert tracker.flows == {}
+
+
+def test_sequence_numbers_wrap_around(tracker):
+    tracker.record_packet(make_packet(sequence=0xFFFFFFF0, length=0), 7, 0.01)
+    tracker.record_packet(make_packet(sequence=0xFFFFFFF0, length=32), 7, 0.02)
+    tracker.record_packet(make_packet(sequence=16, acknowledged=900), 7, 0.03)
+    assert tracker.local_loads[7].active_requests == 0
+    tracker.record_packet(
+        make_packet(sequence=16, acknowledged=900, length=32), 7, 0.04
+    )
+    assert tracker.local_loads[7].active_requests == 1
+
+
+def test_many_requests_per_flow_are_expected_on_a_route_that_had_them(tracker):
+    assert not tracker.expects_many_requests(ROUTE_ADDRESS)
     for number in range(40):
         sequence = 101 + number * 10
-        load.note(packet(sequence, 500 + number, length=10), 7, number * 1.0)
-        load.note(packet(sequence + 10, 501 + number), 7, number + 0.5)
-    assert load.is_long(ROUTE)
-
-
-def test_what_one_vm_tells_the_other_uses_for_a_while(load):
-    other = LoadTable(TokenSettings("e2", "a"))
-    other.zone.take(LoadShare("e1", 1, True, 0, tuple(load.told(0.1))), 0.1)
-    other.sweep(1.6)
-    assert other.zone.totals[7].busy == 1
-    other.sweep(1.8)
-    assert other.zone.totals == {}
+        tracker.record_packet(
+            make_packet(sequence, 500 + number, length=10), 7, number * 1.0
+        )
+        tracker.record_packet(make_packet(sequence + 10, 501 + number), 7, number + 0.5)
+    assert tracker.expects_many_requests(ROUTE_ADDRESS)
+
+
+def test_reported_load_counts_until_it_expires(tracker):
+    other_tracker = LoadTracker(TokenSettings("e2", "a"))
+    other_tracker.zone.take(
+        LoadShare("e1", 1, True, 0, tuple(tracker.reportable_loads(0.1))), 0.1
+    )
+    other_tracker.remove_expired(1.6)
+    assert other_tracker.zone.totals[7].active_requests == 1
+    other_tracker.remove_expired(1.8)
+    assert other_tracker.zone.totals == {}
