--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -1,4 +1,4 @@
-"""State of a replica and the steps that every role shares."""
+"""Replica state and operations that are common to all roles."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
     Send,
     TakeSnapshot,
 )
-from kumquatmux_agreement.leadership import Leadership
+from kumquatmux_agreement.leadership import LeaderState
 from kumquatmux_agreement.log import Log
 from kumquatmux_agreement.messages import Message
 from kumquatmux_agreement.settings import ReplicaSettings
@@ -35,172 +35,202 @@
 
 
 class PendingPersist:
-    """A ``Persist`` that has not been confirmed.
+    """``Persist`` action that has not been confirmed.
 
     Attributes:
-        last_index: Entry up to which the log is synced once it is.
-        then: Actions that have to wait for it.
+        last_index: Last entry that is durable once the action is confirmed.
+        deferred_actions: Actions to request once the action is confirmed.
     """
 
     def __init__(self, last_index: int) -> None:
         self.last_index = last_index
-        self.then: list[Action] = []
+        self.deferred_actions: list[Action] = []
 
 
 class IncomingSnapshot:
-    """A snapshot that arrives in parts.
+    """Snapshot that is being received in chunks.
 
     Attributes:
-        log_index: Last entry it contains.
-        term: Term of the leader that sends it.
-        data: What has arrived without a gap.
+        log_index: Last entry included.
+        term: Term of the leader that sends the snapshot.
+        data: Bytes received so far, without a gap.
     """
 
-    def __init__(self, index: int, term: int) -> None:
-        self.log_index = index
+    def __init__(self, log_index: int, term: int) -> None:
+        self.log_index = log_index
         self.term = term
         self.data = bytearray()
 
 
 class ReplicaCore:
-    """What a replica knows, whatever its role.
+    """Replica state that does not depend on the role.
+
+    The steady clock counts seconds since the start. It never goes back and advances by
+    at most ``clock_gap_s`` between two events.
 
     Attributes:
-        settings: Who it is and how it keeps time.
-        random: Source of election timeouts.
-        vote: Its term and vote.
-        log: Its log.
-        synced: Last entry known to be on its own disk.
+        settings: Identity, timing and limits of the replica.
+        random: Random source of election timeouts.
+        vote_record: Current term and vote.
+        log: Log in memory.
+        persisted_index: Last entry known to be durable on this replica's disk.
         commit: Last entry known to be committed.
-        role: What it is at the moment.
-        leader: The leader it follows, if known.
-        leadership: What it keeps while it leads.
-        election: The votes it gathers as a candidate.
-        incoming: The snapshot that arrives.
-        now: The caller's clock, in seconds.
-        clock: Steady clock in seconds: it never goes back, and counts a gap
-            between two events as ``clock_gap_s`` at most.
-        heard_at: When a leader was heard last, on the steady clock.
-        election_at: When it stands for election, on the steady clock.
-        retry_at: When it stands again at the earliest if it does not win.
-        out: The actions of the event being handled.
+        role: Current role.
+        leader: Leader that the replica follows, or None if unknown.
+        leadership: Leader state, or None if the replica is not the leader.
+        election: Election in which the replica is the candidate, or None.
+        incoming_snapshot: Snapshot that is being received, or None.
+        failure: Problem that made the replica fail, or None.
+        now: Time of the latest event on the caller's clock, in seconds.
+        clock: Current time on the steady clock.
+        heard_at: Time of the last message from a leader, on the steady clock.
+        election_deadline: Time at which the next pre-vote starts, on the steady clock.
+        election_retry_at: Earliest time of a new pre-vote after an election is started,
+            on the steady clock.
+        next_join_request_at: Time of the next join request, on the steady clock.
+        last_snapshot_index: Last entry of the latest requested or installed snapshot.
+        last_persist_number: Number of the latest ``Persist`` action.
+        pending_persists: Unconfirmed ``Persist`` actions by number, in order.
+        actions: Actions requested by the event that is being handled.
     """
 
     def __init__(
-        self, settings: ReplicaSettings, restored: DurableState, random: Random
+        self, settings: ReplicaSettings, durable_state: DurableState, random: Random
     ) -> None:
         self.settings = settings
         self.random = random
-        self.vote = restored.vote
-        self.log = Log(restored.snapshot, restored.entries)
-        self.synced = self.log.last_index
-        self.commit = restored.snapshot.log_index
+        self.vote_record = durable_state.vote
+        self.log = Log(durable_state.snapshot, durable_state.entries)
+        self.persisted_index = self.log.last_index
+        self.commit = durable_state.snapshot.log_index
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
-        self.leadership: Leadership | None = None
+        self.leadership: LeaderState | None = None
         self.election: Election | None = None
-        self.incoming: IncomingSnapshot | None = None
+        self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: Problem | None = None
         self.now = -math.inf
         self.clock = 0.0
-        start_s = settings.start_timeout_s
-        if settings.lease_share and start_s < settings.election_timeout_s:
-            raise ValueError("a leader's lease needs the whole timeout at a start")
-        self.heard_at = start_s - settings.election_timeout_s
-        self.join_at = 0.0
-        self.plan_elections()
-        self.snapshot_asked = restored.snapshot.log_index
-        self.persist_number = 0
-        self.unsynced: dict[int, PendingPersist] = {}
-        self.out: list[Action] = []
-        self.role = self.idle_role()
+        start_timeout_s = settings.start_timeout_s
+        if settings.lease_share and start_timeout_s < settings.election_timeout_s:
+            raise ValueError(
+                "a read lease requires start_timeout_s >= election_timeout_s"
+            )
+        self.heard_at = start_timeout_s - settings.election_timeout_s
+        self.next_join_request_at = 0.0
+        self.schedule_elections()
+        self.last_snapshot_index = durable_state.snapshot.log_index
+        self.last_persist_number = 0
+        self.pending_persists: dict[int, PendingPersist] = {}
+        self.actions: list[Action] = []
+        self.role = self.passive_role()
 
     @property
-    def me(self) -> ReplicaId:
-        """The name of this replica."""
+    def replica_id(self) -> ReplicaId:
+        """Identity of this replica."""
         return self.settings.replica
 
     @property
     def term(self) -> int:
-        """The term it is in."""
-        return self.vote.term
+        """Current term."""
+        return self.vote_record.term
 
     @property
     def cluster(self) -> str:
-        """The cluster's name with its origin, the bare name while that is unknown."""
+        """Cluster name with its origin, or without it while that is unknown."""
         origin = self.log.configuration.origin
         name = self.settings.cluster
         return f"{name}/{origin}" if origin else name
 
-    def is_of_cluster(self, cluster: str) -> bool:
-        """Return whether a message's cluster may be this replica's own."""
+    def accepts_cluster(self, cluster: str) -> bool:
+        """Return whether messages with this cluster name are accepted.
+
+        While the replica does not know its cluster's origin, it accepts any origin.
+        """
         if cluster == self.cluster:
             return True
-        is_open = not self.log.configuration.origin
-        return is_open and cluster.startswith(self.settings.cluster + "/")
+        has_no_origin = not self.log.configuration.origin
+        return has_no_origin and cluster.startswith(self.settings.cluster + "/")
 
     @property
-    def may_stand(self) -> bool:
-        """Whether it is a voter, or is until its removal is committed.
+    def can_start_election(self) -> bool:
+        """Whether the replica is a voter in the latest or the committed configuration.
 
-        Others may need it to lead until then, because its log may be the longest.
+        A voter whose removal is not committed may still have to lead, because its log
+        may be the most complete one.
         """
-        agreed = self.log.configuration_at(self.commit)
-        return self.me in self.log.configuration.voters + agreed.voters
+        committed_configuration = self.log.configuration_at(self.commit)
+        return (
+            self.replica_id
+            in self.log.configuration.voters + committed_configuration.voters
+        )
 
-    def next_election_at(self) -> float:
-        """Return a random time at which to stand for election."""
-        timeout = self.settings.election_timeout_s
-        return self.clock + timeout * (1 + self.random.random())
+    def random_election_deadline(self) -> float:
+        """Return a random deadline between one and two election timeouts from now."""
+        election_timeout_s = self.settings.election_timeout_s
+        return self.clock + election_timeout_s * (1 + self.random.random())
 
-    def plan_elections(self) -> None:
-        """Draw when to ask for votes on trial again, and when to stand again.
+    def schedule_elections(self) -> None:
+        """Draw random times for the next pre-vote and for a retry after an election.
 
-        Asking binds nobody and may follow soon. Standing spoils a term for others, so
-        that candidates of one term must wait for different times.
+        A pre-vote does not bind voters and may be repeated soon. An election uses up
+        the votes of its term, so candidates that split them must retry at different
+        times.
         """
-        spread = 1 + self.random.random()
-        self.election_at = self.clock + self.settings.start_timeout_s * spread
-        self.retry_at = self.clock + self.settings.election_timeout_s * spread
+        timeout_factor = 1 + self.random.random()
+        self.election_deadline = (
+            self.clock + self.settings.start_timeout_s * timeout_factor
+        )
+        self.election_retry_at = (
+            self.clock + self.settings.election_timeout_s * timeout_factor
+        )
 
     def advance_clock(self, now: float) -> None:
-        """Take the caller's clock; forget what a jump of it makes untrue."""
-        gap = now - self.now if math.isfinite(self.now) else 0.0
+        """Advance both clocks, and discard round start times after a clock jump.
+
+        Args:
+            now: Time on the caller's clock, in seconds.
+        """
+        elapsed = now - self.now if math.isfinite(self.now) else 0.0
         self.now = now
-        self.clock += min(max(gap, 0.0), self.settings.clock_gap_s)
-        has_jumped = not 0.0 <= gap <= self.settings.clock_gap_s
+        self.clock += min(max(elapsed, 0.0), self.settings.clock_gap_s)
+        has_jumped = not 0.0 <= elapsed <= self.settings.clock_gap_s
         if has_jumped and self.leadership is not None:
-            self.leadership.forget_times()
+            self.leadership.discard_send_times()
 
-    def idle_role(self) -> Role:
-        """Return the role it has when it neither leads nor stands."""
+    def passive_role(self) -> Role:
+        """Return the role of this replica as neither leader nor candidate."""
         configuration = self.log.configuration
-        if self.may_stand:
+        if self.can_start_election:
             return Role.FOLLOWER
-        if self.me in configuration.learners:
+        if self.replica_id in configuration.learners:
             return Role.LEARNER
         return Role.OUTSIDER
 
     def set_role(self, role: Role, leader: ReplicaId | None) -> None:
-        """Change role or leader and tell about it."""
+        """Change the role or leader and report the change."""
         if (role, leader) == (self.role, self.leader):
             return
         self.role = role
         self.leader = leader
         log_decision(
-            "agreement-role", replica=self.me, role=role, term=self.term, leader=leader
+            "agreement-role",
+            replica=self.replica_id,
+            role=role,
+            term=self.term,
+            leader=leader,
         )
-        self.out.append(RoleChanged(role, self.term, leader))
+        self.actions.append(RoleChanged(role, self.term, leader))
 
     def send(self, message: Message, to: VmId) -> None:
-        """Send a message at once."""
-        self.out.append(Send(to, message))
-
-    def send_after_sync(self, message: Message, to: VmId) -> None:
-        """Send a message once all that was asked for is synced."""
-        if self.unsynced:
-            last = next(reversed(self.unsynced.values()))
-            last.then.append(Send(to, message))
+        """Request that a message be sent at once."""
+        self.actions.append(Send(to, message))
+
+    def send_after_persist(self, message: Message, to: VmId) -> None:
+        """Request that a message be sent once all pending persists are confirmed."""
+        if self.pending_persists:
+            last_persist = next(reversed(self.pending_persists.values()))
+            last_persist.deferred_actions.append(Send(to, message))
         else:
             self.send(message, to)
 
@@ -212,93 +242,111 @@
         snapshot: Snapshot | None = None,
         keep_entries: bool = True,
     ) -> None:
-        """Ask for something to be made durable."""
-        self.persist_number += 1
-        number = self.persist_number
-        self.unsynced[number] = PendingPersist(self.log.last_index)
-        self.out.append(Persist(number, vote, entries, snapshot, keep_entries))
+        """Request that state be made durable."""
+        self.last_persist_number += 1
+        persist_number = self.last_persist_number
+        self.pending_persists[persist_number] = PendingPersist(self.log.last_index)
+        self.actions.append(
+            Persist(persist_number, vote, entries, snapshot, keep_entries)
+        )
 
     def append(self, entries: tuple[Entry, ...]) -> None:
-        """Append entries to the log and ask for them to be synced."""
-        first = entries[0].log_index
-        if first <= self.commit:
-            raise AssertionError(f"committed entry {first} would be replaced")
-        self.synced = min(self.synced, first - 1)
-        for pending in self.unsynced.values():
-            pending.last_index = min(pending.last_index, first - 1)
+        """Append entries to the log and request that they be made durable."""
+        first_index = entries[0].log_index
+        if first_index <= self.commit:
+            raise AssertionError(f"cannot replace committed entry {first_index}")
+        self.persisted_index = min(self.persisted_index, first_index - 1)
+        for pending_persist in self.pending_persists.values():
+            pending_persist.last_index = min(
+                pending_persist.last_index, first_index - 1
+            )
         self.log.append(entries)
         self.persist(entries=entries)
         if any(entry.kind == EntryKind.CONFIGURATION for entry in entries):
-            self.configuration_changed()
+            self.apply_latest_configuration()
 
-    def configuration_changed(self) -> None:
-        """Follow the latest configuration of the log."""
+    def apply_latest_configuration(self) -> None:
+        """Adapt the role or the leader state to the log's latest configuration."""
         log_decision(
             "agreement-configuration",
-            replica=self.me,
+            replica=self.replica_id,
             index=self.log.configuration_index,
             voters=",".join(map(str, self.log.configuration.voters)),
             learners=",".join(map(str, self.log.configuration.learners)),
         )
         if self.leadership is not None:
-            following = self.log.last_index + 1
-            self.leadership.follow(self.log.configuration, following, self.clock)
+            next_index = self.log.last_index + 1
+            self.leadership.track_members(
+                self.log.configuration, next_index, self.clock
+            )
         elif self.role not in (Role.CANDIDATE, Role.FAILED):
-            self.set_role(self.idle_role(), self.leader)
+            self.set_role(self.passive_role(), self.leader)
 
     def enter_term(self, term: int, leader: ReplicaId | None) -> None:
-        """Move to a later term as a follower."""
-        self.vote = VoteRecord(term)
-        self.persist(vote=self.vote)
-        self.stop_leading("a later term began")
-        self.set_role(self.idle_role(), leader)
-
-    def stop_leading(self, reason: str) -> None:
-        """Give up leading or standing; answer what is owed."""
+        """Enter a later term as a follower."""
+        self.vote_record = VoteRecord(term)
+        self.persist(vote=self.vote_record)
+        self.step_down("a later term has begun")
+        self.set_role(self.passive_role(), leader)
+
+    def step_down(self, reason: str) -> None:
+        """End leadership or candidacy and answer all open requests.
+
+        Args:
+            reason: Why leadership ends, for the log and the replies.
+        """
         self.election = None
-        leadership = self.leadership
+        leader_state = self.leadership
         self.leadership = None
-        if leadership is None:
+        if leader_state is None:
             return
-        log_decision("agreement-step-down", replica=self.me, reason=reason)
-        unknown = Problem("outcome-unknown", f"the leader stepped down: {reason}")
-        for token in leadership.pending.values():
-            self.out.append(Reply(token, Outcome.UNKNOWN, 0, unknown, self.leader))
-        refused = Problem("not-leader", f"the leader stepped down: {reason}")
-        for read in leadership.reads:
-            self.out.append(Reply(read.token, Outcome.REFUSED, 0, refused))
-        self.election_at = self.next_election_at()
+        log_decision("agreement-step-down", replica=self.replica_id, reason=reason)
+        unknown_problem = Problem(
+            "outcome-unknown", f"the leader stepped down: {reason}"
+        )
+        for token in leader_state.pending_proposals.values():
+            self.actions.append(
+                Reply(token, Outcome.UNKNOWN, 0, unknown_problem, self.leader)
+            )
+        not_leader_problem = Problem("not-leader", f"the leader stepped down: {reason}")
+        for read in leader_state.pending_reads:
+            self.actions.append(
+                Reply(read.token, Outcome.REFUSED, 0, not_leader_problem)
+            )
+        self.election_deadline = self.random_election_deadline()
 
     def commit_up_to(self, index: int) -> None:
-        """Take entries as committed, have them applied and answer for them."""
+        """Commit entries, request their application and answer their proposals."""
         if index <= self.commit:
             return
-        entries = self.log.between(self.commit + 1, index)
+        entries = self.log.entries_between(self.commit + 1, index)
         self.commit = index
-        data = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
-        if data:
-            self.out.append(Apply(data))
+        data_entries = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
+        if data_entries:
+            self.actions.append(Apply(data_entries))
         if self.leadership is not None:
-            self.answer_committed(entries)
-        due = self.snapshot_asked + self.settings.snapshot_entries
-        if index >= due:
-            self.snapshot_asked = index
-            self.out.append(TakeSnapshot(index))
-
-    def answer_committed(self, entries: tuple[Entry, ...]) -> None:
-        """Answer the proposals that these entries carry out."""
-        leadership = self.leadership
-        if leadership is None:
+            self.reply_to_committed(entries)
+        snapshot_due_index = self.last_snapshot_index + self.settings.snapshot_entries
+        if index >= snapshot_due_index:
+            self.last_snapshot_index = index
+            self.actions.append(TakeSnapshot(index))
+
+    def reply_to_committed(self, entries: tuple[Entry, ...]) -> None:
+        """Answer the proposals and membership changes in committed entries."""
+        leader_state = self.leadership
+        if leader_state is None:
             return
         for entry in entries:
-            token = leadership.pending.pop(entry.log_index, None)
+            token = leader_state.pending_proposals.pop(entry.log_index, None)
             if token is not None:
-                reply = Reply(token, Outcome.COMMITTED, entry.log_index, None, self.me)
-                self.out.append(reply)
+                reply = Reply(
+                    token, Outcome.COMMITTED, entry.log_index, None, self.replica_id
+                )
+                self.actions.append(reply)
 
     def fail(self, problem: Problem) -> None:
-        """Take no further part: what is on the disk is no longer known."""
+        """Stop participating after a failed write, as the disk state is unknown."""
         self.failure = problem
-        self.unsynced.clear()
-        self.stop_leading(str(problem))
+        self.pending_persists.clear()
+        self.step_down(str(problem))
         self.set_role(Role.FAILED, None)
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -1,4 +1,4 @@
-"""What a follower does with the leader's entries and snapshots."""
+"""Handling of the leader's entries and snapshots by a follower."""
 
 from __future__ import annotations
 
@@ -13,75 +13,79 @@
 )
 
 
-def append_asked(core: ReplicaCore, message: AppendRequest) -> None:
-    """Take entries from a leader, or say where the logs part."""
-    if not _is_from_leader(core, message):
-        _answer(core, message, is_matched=False, index=core.log.last_index + 1)
+def handle_append_request(core: ReplicaCore, message: AppendRequest) -> None:
+    """Append a leader's entries, or reply where the logs start to differ."""
+    if not _accept_leader(core, message):
+        _send_append_reply(
+            core, message, is_matched=False, log_index=core.log.last_index + 1
+        )
         return
-    last_carried = message.previous_index + len(message.entries)
-    if last_carried <= core.log.base_index:
-        _answer(core, message, is_matched=True, index=core.commit)
+    last_message_index = message.previous_index + len(message.entries)
+    if last_message_index <= core.log.base_index:
+        _send_append_reply(core, message, is_matched=True, log_index=core.commit)
         return
-    previous = message.previous_index
-    is_inside = previous < core.log.base_index
-    if not is_inside and core.log.term_at(previous) != message.previous_term:
-        hint = core.log.conflict_hint(previous)
-        _answer(core, message, is_matched=False, index=hint)
+    previous_index = message.previous_index
+    is_before_base = previous_index < core.log.base_index
+    if not is_before_base and core.log.term_at(previous_index) != message.previous_term:
+        retry_index = core.log.conflict_hint(previous_index)
+        _send_append_reply(core, message, is_matched=False, log_index=retry_index)
         return
-    unknown = core.log.unknown_part(message.entries)
-    if unknown:
-        core.append(unknown)
-    core.commit_up_to(min(message.commit, last_carried))
-    _answer(core, message, is_matched=True, index=last_carried)
+    missing_entries = core.log.missing_suffix(message.entries)
+    if missing_entries:
+        core.append(missing_entries)
+    core.commit_up_to(min(message.commit_index, last_message_index))
+    _send_append_reply(core, message, is_matched=True, log_index=last_message_index)
 
 
-def chunk_asked(core: ReplicaCore, message: SnapshotChunk) -> None:
-    """Take a part of a snapshot; install it once it is whole."""
-    if not _is_from_leader(core, message):
-        _answer(core, message, is_matched=False, index=core.log.last_index + 1)
+def handle_snapshot_chunk(core: ReplicaCore, message: SnapshotChunk) -> None:
+    """Store a chunk of a snapshot, and install the snapshot once it is complete."""
+    if not _accept_leader(core, message):
+        _send_append_reply(
+            core, message, is_matched=False, log_index=core.log.last_index + 1
+        )
         return
     if message.log_index <= core.commit:
-        _answer(core, message, is_matched=True, index=core.commit)
+        _send_append_reply(core, message, is_matched=True, log_index=core.commit)
         return
-    incoming = core.incoming
-    is_other = incoming is None or incoming.log_index != message.log_index
-    if incoming is None or is_other or incoming.term != message.term:
+    incoming = core.incoming_snapshot
+    is_different_snapshot = incoming is None or incoming.log_index != message.log_index
+    if incoming is None or is_different_snapshot or incoming.term != message.term:
         incoming = IncomingSnapshot(message.log_index, message.term)
-        core.incoming = incoming
+        core.incoming_snapshot = incoming
     if message.offset == len(incoming.data):
         incoming.data += message.data
-    if len(incoming.data) < message.total:
-        _answer_chunk(core, message, len(incoming.data))
+    if len(incoming.data) < message.total_bytes:
+        _send_snapshot_reply(core, message, len(incoming.data))
         return
     snapshot = Snapshot(
         message.log_index,
-        message.index_term,
+        message.log_term,
         message.configuration,
         bytes(incoming.data),
     )
-    _install(core, snapshot)
-    _answer(core, message, is_matched=True, index=snapshot.log_index)
+    _install_snapshot(core, snapshot)
+    _send_append_reply(core, message, is_matched=True, log_index=snapshot.log_index)
 
 
-def _install(core: ReplicaCore, snapshot: Snapshot) -> None:
-    core.incoming = None
-    is_held = core.log.term_at(snapshot.log_index) == snapshot.term
-    if is_held:
-        core.log.compact(snapshot, keep=0)
+def _install_snapshot(core: ReplicaCore, snapshot: Snapshot) -> None:
+    core.incoming_snapshot = None
+    is_in_log = core.log.term_at(snapshot.log_index) == snapshot.term
+    if is_in_log:
+        core.log.compact(snapshot, keep_entries=0)
     else:
         core.log.reset(snapshot)
-        core.synced = snapshot.log_index
-        for pending in core.unsynced.values():
-            pending.last_index = snapshot.log_index
+        core.persisted_index = snapshot.log_index
+        for pending_persist in core.pending_persists.values():
+            pending_persist.last_index = snapshot.log_index
     core.commit = snapshot.log_index
-    core.snapshot_asked = snapshot.log_index
-    core.persist(snapshot=snapshot, keep_entries=is_held)
-    core.out.append(InstallSnapshot(snapshot))
-    core.configuration_changed()
+    core.last_snapshot_index = snapshot.log_index
+    core.persist(snapshot=snapshot, keep_entries=is_in_log)
+    core.actions.append(InstallSnapshot(snapshot))
+    core.apply_latest_configuration()
 
 
-def _is_from_leader(core: ReplicaCore, message: AppendRequest | SnapshotChunk) -> bool:
-    """Follow the sender if its term is not over."""
+def _accept_leader(core: ReplicaCore, message: AppendRequest | SnapshotChunk) -> bool:
+    """Follow the sender as leader, or return False if its term is over."""
     if message.term < core.term:
         return False
     if message.term > core.term:
@@ -89,39 +93,41 @@
     if core.leadership is not None:
         raise AssertionError(f"two leaders in term {message.term}")
     core.election = None
-    core.set_role(core.idle_role(), message.sender)
+    core.set_role(core.passive_role(), message.sender)
     core.heard_at = core.clock
-    core.election_at = core.next_election_at()
+    core.election_deadline = core.random_election_deadline()
     return True
 
 
-def _answer(
+def _send_append_reply(
     core: ReplicaCore,
     message: AppendRequest | SnapshotChunk,
     *,
     is_matched: bool,
-    index: int,
+    log_index: int,
 ) -> None:
     reply = AppendReply(
         message.cluster,
-        core.me,
+        core.replica_id,
         message.sender,
         core.term,
         is_matched,
-        index,
+        log_index,
         message.round,
     )
-    core.send_after_sync(reply, message.sender.vm)
+    core.send_after_persist(reply, message.sender.vm)
 
 
-def _answer_chunk(core: ReplicaCore, message: SnapshotChunk, received: int) -> None:
+def _send_snapshot_reply(
+    core: ReplicaCore, message: SnapshotChunk, received_bytes: int
+) -> None:
     reply = SnapshotReply(
         message.cluster,
-        core.me,
+        core.replica_id,
         message.sender,
         core.term,
         message.log_index,
-        received,
+        received_bytes,
         message.round,
     )
-    core.send_after_sync(reply, message.sender.vm)
+    core.send_after_persist(reply, message.sender.vm)
--- a/libs/flows/src/kumquatmux_flows/evidence.py
+++ b/libs/flows/src/kumquatmux_flows/evidence.py
@@ -1,51 +1,68 @@
-"""Whether a packet's numbers fit the record of its flow."""
+"""Validation of acknowledgement numbers against flow records."""
 
 from __future__ import annotations
 
 from kumquatmux_core.segments import FLAG_ACK, FLAG_RST, FLAG_SYN, Segment
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import SEQUENCE_MASK, FlowStatus, Mark, Role
+from kumquatmux_flows.table import SEQUENCE_MASK, FlowFlag, FlowStatus, Role
 
-NEAR_BYTES = 1 << 20
-WIDE_BYTES = 1 << 28
+NARROW_ACK_WINDOW_BYTES = 1 << 20
+"""Window for acknowledgement numbers of half-open flows and on the fast path."""
+WIDE_ACK_WINDOW_BYTES = 1 << 28
+"""Window for acknowledgement numbers of established flows."""
 
 
-class Evidence:
-    """Compares acknowledgements with what a server is known to have sent."""
+class AckValidator:
+    """Compares acknowledgement numbers with what the server of a record sent."""
 
     def __init__(self, state: FlowState) -> None:
         self.state = state
 
-    def contradicts(self, slot: int, segment: Segment) -> bool:
-        """Return whether a packet shows that its handshake was with another server."""
+    def indicates_other_server(self, slot: int, segment: Segment) -> bool:
+        """Return whether a packet belongs to a handshake with another server."""
         table = self.state.table
         if segment.flags & (FLAG_SYN | FLAG_RST) or not segment.flags & FLAG_ACK:
             return False
-        seen = table.marks[slot] & Mark.SERVER_SEEN
+        next_known = table.flow_flags[slot] & FlowFlag.SERVER_NEXT_KNOWN
         if table.statuses[slot] == FlowStatus.ESTABLISHED:
-            current = seen and table.roles[slot] == Role.OWNER
-            known = table.server_nexts[slot] != 0
-            return known and not current and self.is_far(slot, segment, WIDE_BYTES)
+            is_current = next_known and table.roles[slot] == Role.OWNER
+            has_server_next = table.server_nexts[slot] != 0
+            return (
+                has_server_next
+                and not is_current
+                and self.ack_outside_window(slot, segment, WIDE_ACK_WINDOW_BYTES)
+            )
         if table.statuses[slot] != FlowStatus.HALF_OPEN:
             return False
-        if seen:
-            return self.is_far(slot, segment, NEAR_BYTES)
-        return bool(table.marks[slot] & Mark.PLACED)
+        if next_known:
+            return self.ack_outside_window(slot, segment, NARROW_ACK_WINDOW_BYTES)
+        return bool(table.flow_flags[slot] & FlowFlag.PLACED_HERE)
 
-    def is_far(self, slot: int, segment: Segment, limit: int) -> bool:
-        """Return whether an acknowledgement does not fit what a server has sent."""
+    def ack_outside_window(self, slot: int, segment: Segment, window: int) -> bool:
+        """Return whether an acknowledgement number is too far from the server's.
+
+        Args:
+            slot: Table slot of the flow.
+            segment: Packet with the acknowledgement number.
+            window: Largest allowed distance in bytes from the next sequence number that
+                the record expects of the server.
+        """
         distance = (segment.ack - self.state.table.server_nexts[slot]) & SEQUENCE_MASK
-        return min(distance, SEQUENCE_MASK - distance) > limit
+        return min(distance, SEQUENCE_MASK - distance) > window
 
-    def matches(self, slot: int, segment: Segment, now: float) -> bool:
-        """Return whether a packet fits a record only learned from replies."""
+    def fits_learned_record(self, slot: int, segment: Segment, now: float) -> bool:
+        """Return whether a packet fits a record that was only learned from replies."""
         table = self.state.table
-        if not self.state.permits(slot) or segment.opens:
+        if not self.state.server_permitted(slot) or segment.opens:
             return False
         if not segment.is_tcp:
             age = now - table.reply_times[slot]
             return age < self.state.settings.learned_fresh_seconds
         if not segment.flags & FLAG_ACK:
             return False
-        opening = table.statuses[slot] == FlowStatus.HALF_OPEN
-        return not self.is_far(slot, segment, NEAR_BYTES if opening else WIDE_BYTES)
+        half_open = table.statuses[slot] == FlowStatus.HALF_OPEN
+        return not self.ack_outside_window(
+            slot,
+            segment,
+            NARROW_ACK_WINDOW_BYTES if half_open else WIDE_ACK_WINDOW_BYTES,
+        )
--- a/libs/flows/src/kumquatmux_flows/refusals.py
+++ b/libs/flows/src/kumquatmux_flows/refusals.py
@@ -1,4 +1,4 @@
-"""Why a packet had no route or a flow was given up."""
+"""Reason codes for refused and dropped packets and for flows that are closed."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class Refusal(StrEnum):
-    """The reasons a caller, a log line or a counter is told."""
+    """Reason codes that appear in resets, log lines and counters."""
 
     SERVICE_UNKNOWN = "service-unknown"
     TABLE_STALE = "table-stale"
@@ -16,14 +16,14 @@
     OWNER_MOVED = "owner-moved"
     FLOW_UNKNOWN = "flow-unknown"
     RECORD_MAYBE_LOST = "record-maybe-lost"
-    UNSETTLED = "view-unsettled"
+    VIEW_UNSETTLED = "view-unsettled"
     QUARANTINED = "quarantined"
-    DUPLICATE = "duplicate-first-packet"
+    DUPLICATE_FIRST_PACKET = "duplicate-first-packet"
     HELD_FULL = "held-full"
-    CROSSED = "reply-crossed"
+    REPLY_CROSSED = "reply-crossed"
     SERVICE_CROSSED = "service-crossed"
     SILENT = "silent"
     IDLE = "idle"
     CONFLICT = "conflict"
-    HOPS = "hops"
-    ALONE = "no-owner"
+    HOP_LIMIT = "hops"
+    NO_OWNER = "no-owner"
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -1,11 +1,11 @@
-"""Paced work over the whole table: expiry, takeover, second copies, probes."""
+"""Periodic sweep of the flow table: expiry, ownership, backup copies and probes."""
 
 from __future__ import annotations
 
 from kumquatmux_core.identity import FlowKey, VmId
 from kumquatmux_core.segments import PROTOCOL_TCP
-from kumquatmux_flows.batches import Batches
-from kumquatmux_flows.callers import CallerPath
+from kumquatmux_flows.batches import BatchExchange
+from kumquatmux_flows.callers import CallerPacketHandler
 from kumquatmux_flows.events import (
     Quiet,
 )
@@ -13,120 +13,133 @@
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
 from kumquatmux_flows.table import (
+    FlowFlag,
     FlowStatus,
-    Mark,
     Role,
 )
 
-SILENT_BEFORE_REPAIR_SECONDS = 2.0
-LEAVING_SPEED = 10.0
+IDLE_BEFORE_REPAIR_SECONDS = 2.0
+"""Idle time of a flow after which a batch and not a packet carries its record."""
+LEAVING_SPEED_FACTOR = 10.0
+"""Speed of the sweep during the shutdown of this VM, relative to its normal speed."""
 BURST_SECONDS = 1.0
+"""Most time that one tick accounts for, and for which unused budget accumulates."""
 
 
-class Sweep:
-    """Looks at a bounded number of slots each tick.
+class TableSweep:
+    """Visits a limited number of table slots in each tick.
 
     Attributes:
-        cursor: The slot to look at next.
-        due: Slots that should have been looked at by now.
+        cursor: Slot to visit next.
+        due_slots: Number of slots that are due to be visited.
+        last_tick_time: Time in seconds of the last tick.
+        handover_reported: Whether the end of the handover at shutdown was reported.
     """
 
-    def __init__(self, state: FlowState, callers: CallerPath, silence: Silence) -> None:
+    def __init__(
+        self,
+        state: FlowState,
+        caller_handler: CallerPacketHandler,
+        silence_detector: Silence,
+    ) -> None:
         self.state = state
-        self.silence = silence
-        self.callers = callers
-        self.batches = Batches(state, callers.bindings, silence)
+        self.silence_detector = silence_detector
+        self.caller_handler = caller_handler
+        self.batch_exchange = BatchExchange(
+            state, caller_handler.binding_store, silence_detector
+        )
         self.cursor = 0
-        self.due = 0.0
-        self.last = float("-inf")
-        self.told_quiet = False
+        self.due_slots = 0.0
+        self.last_tick_time = float("-inf")
+        self.handover_reported = False
 
     def tick(self, now: float) -> None:
         """Do the work that is due."""
-        elapsed = min(max(now - self.last, 0.0), BURST_SECONDS)
-        self.last = now
-        self.refill(elapsed)
-        self.end_graces(now)
-        self.batches.end_batches(now)
-        self.serve_waiting(now)
-        self.silence.ask_suspects(now)
-        for _ in range(self.share(elapsed)):
-            self.step(now)
-        self.batches.flush_all(now)
-        self.tell_quiet(now)
-
-    def serve_waiting(self, now: float) -> None:
-        """Look again at slots that the budget made wait."""
-        while (slot := self.batches.next_waiting()) is not None:
+        elapsed = min(max(now - self.last_tick_time, 0.0), BURST_SECONDS)
+        self.last_tick_time = now
+        self.refill_budgets(elapsed)
+        self.expire_provisional_slots(now)
+        self.batch_exchange.expire_batches(now)
+        self.visit_deferred_slots(now)
+        self.silence_detector.probe_due_flows(now)
+        for _ in range(self.take_due_slots(elapsed)):
+            self.visit_next_slot(now)
+        self.batch_exchange.send_open_batches(now)
+        self.report_handover_complete(now)
+
+    def visit_deferred_slots(self, now: float) -> None:
+        """Visit the slots again that were deferred for lack of budget."""
+        while (slot := self.batch_exchange.next_deferred_slot()) is not None:
             key = self.state.table.keys[slot]
             if key is not None:
-                self.visit(slot, key, now)
+                self.visit_slot(slot, key, now)
 
-    def refill(self, elapsed: float) -> None:
-        """Add to the budgets what the time allows."""
-        self.batches.refill(elapsed)
+    def refill_budgets(self, elapsed: float) -> None:
+        """Refill the byte and probe budgets for an elapsed time in seconds."""
+        self.batch_exchange.refill_budget(elapsed)
         rate = self.state.settings.probes_per_second
-        left = self.state.probes_left + rate * elapsed
-        self.state.probes_left = min(left, max(rate * BURST_SECONDS, 1.0))
+        refilled_budget = self.state.probe_budget + rate * elapsed
+        self.state.probe_budget = min(refilled_budget, max(rate * BURST_SECONDS, 1.0))
 
-    def share(self, elapsed: float) -> int:
-        """Return how many slots this tick looks at."""
+    def take_due_slots(self, elapsed: float) -> int:
+        """Return how many slots to visit now and subtract them from those due."""
         settings = self.state.settings
-        size = len(self.state.table.keys)
-        speed = LEAVING_SPEED if self.state.ranking.leaving else 1.0
-        self.due += size * elapsed * speed / settings.sweep_seconds
-        whole = min(int(self.due), settings.sweep_slots, size)
-        self.due = min(self.due - whole, float(size))
-        return whole
-
-    def step(self, now: float) -> None:
-        """Look at the next slot."""
+        table_size = len(self.state.table.keys)
+        speed_factor = LEAVING_SPEED_FACTOR if self.state.ranking.leaving else 1.0
+        self.due_slots += table_size * elapsed * speed_factor / settings.sweep_seconds
+        slot_count = min(int(self.due_slots), settings.sweep_slots_per_tick, table_size)
+        self.due_slots = min(self.due_slots - slot_count, float(table_size))
+        return slot_count
+
+    def visit_next_slot(self, now: float) -> None:
+        """Visit the slot at the cursor and advance the cursor."""
         table = self.state.table
         slot = self.cursor
         self.cursor = (slot + 1) % len(table.keys)
         key = table.keys[slot]
         if key is not None:
-            self.visit(slot, key, now)
+            self.visit_slot(slot, key, now)
 
-    def visit(self, slot: int, key: FlowKey, now: float) -> None:
-        """Do what one record needs."""
+    def visit_slot(self, slot: int, key: FlowKey, now: float) -> None:
+        """Do the work that the record of a slot needs."""
         table = self.state.table
         if table.statuses[slot] == FlowStatus.CLOSED:
-            if self.owns(slot):
-                self.silence.repeat_reset(slot, key, now)
-            if not self.state.quarantined(slot, now):
+            if self.owns_record(slot):
+                self.silence_detector.repeat_reset(slot, key, now)
+            if not self.state.is_quarantined(slot, now):
                 table.remove(slot)
-        elif not self.state.permits(slot):
-            self.strand(slot, key, now)
-        elif self.state.idle(slot, now) > self.idle_limit(slot):
-            self.state.forget(slot, Refusal.IDLE, now)
+        elif not self.state.server_permitted(slot):
+            self.end_reassigned_flow(slot, key, now)
+        elif self.state.idle_seconds(slot, now) > self.idle_limit(slot):
+            self.state.remove_flow(slot, Refusal.IDLE, now)
         elif table.roles[slot] != Role.LEARNED:
-            self.keep(slot, key, now)
+            self.maintain_record(slot, key, now)
 
-    def owns(self, slot: int) -> bool:
-        """Return whether this VM owns a record by the view in force.
+    def owns_record(self, slot: int) -> bool:
+        """Return whether this VM owns a record by the current view.
 
-        One that took a flow for silent in a cut may not reset it after the cut, when
-        its owner has it open.
+        A VM that closed a flow as silent during a network partition must not reset it
+        afterwards, because the owner may have it open.
         """
         state = self.state
-        place = state.routes.places[state.table.services[slot]]
-        return state.ranking.rank(place)[:1] == [state.vm]
+        service_key = state.routes.service_keys[state.table.services[slot]]
+        return state.ranking.rank(service_key)[:1] == [state.vm]
 
-    def strand(self, slot: int, key: FlowKey, now: float) -> None:
-        """Give up a flow whose server's address now serves another service.
+    def end_reassigned_flow(self, slot: int, key: FlowKey, now: float) -> None:
+        """End a flow whose server's address now belongs to another service.
 
-        Its caller may wait for an answer and send nothing, so it is reset at once.
+        The flow is reset at once, since its caller may wait for a reply and send
+        nothing.
         """
         table = self.state.table
         if table.roles[slot] != Role.OWNER or key[0] != PROTOCOL_TCP:
-            self.state.forget(slot, Refusal.SERVER_GONE, now)
+            self.state.remove_flow(slot, Refusal.SERVER_GONE, now)
             return
-        self.silence.send_resets(slot, key, Refusal.SERVER_GONE)
-        self.silence.end(slot, Refusal.SERVER_GONE, now)
+        self.silence_detector.send_resets(slot, key, Refusal.SERVER_GONE)
+        self.silence_detector.close_reset_flow(slot, Refusal.SERVER_GONE, now)
 
     def idle_limit(self, slot: int) -> float:
-        """Return the seconds a flow may be idle, by its status."""
+        """Return the seconds that a flow may be idle, by its status."""
         settings = self.state.settings
         status = self.state.table.statuses[slot]
         if status == FlowStatus.ESTABLISHED:
@@ -134,82 +147,95 @@
         limit = settings.half_open_seconds
         if status == FlowStatus.CLOSING:
             limit = settings.closing_seconds
-        elif status == FlowStatus.DATAGRAMS:
+        elif status == FlowStatus.UDP_ACTIVE:
             limit = settings.datagram_seconds
-        if self.state.table.roles[slot] == Role.COPY:
+        if self.state.table.roles[slot] == Role.BACKUP:
             limit += settings.copy_refresh_seconds
         return limit
 
-    def keep(self, slot: int, key: FlowKey, now: float) -> None:
-        """Put a record where it belongs by the view in force."""
+    def maintain_record(self, slot: int, key: FlowKey, now: float) -> None:
+        """Hand over, take over, back up or probe a record as the view requires."""
         state = self.state
         table = state.table
-        place = state.routes.places[table.services[slot]]
-        owner = state.ranking.rank(place)[:1]
-        if not owner:
+        service_key = state.routes.service_keys[table.services[slot]]
+        owners = state.ranking.rank(service_key)[:1]
+        if not owners:
             return
-        if owner[0] != state.vm:
-            if table.roles[slot] == Role.OWNER or self.is_orphan(slot, place, now):
-                self.hand_over(slot, owner[0], now)
+        if owners[0] != state.vm:
+            if table.roles[slot] == Role.OWNER or self.is_orphaned(
+                slot, service_key, now
+            ):
+                self.hand_over(slot, owners[0], now)
             return
-        if table.roles[slot] == Role.COPY:
-            state.adopt(slot, "owner-gone")
-        self.repair(slot, now)
-        self.silence.offer_witness(slot, key, now)
-        self.silence.probe(slot, key, now)
-
-    def is_orphan(self, slot: int, place: bytes, now: float) -> bool:
-        """Return whether a copy was not claimed by the owner of a newer view."""
-        changed = self.state.ranking.owner_changes.get(place)
-        if changed is None or now - changed < self.state.settings.settle_seconds:
+        if table.roles[slot] == Role.BACKUP:
+            state.take_ownership(slot, "owner-gone")
+        self.repair_backup(slot, now)
+        self.silence_detector.offer_reference_flow(slot, key, now)
+        self.silence_detector.probe_idle_flow(slot, key, now)
+
+    def is_orphaned(self, slot: int, service_key: bytes, now: float) -> bool:
+        """Return whether the owner of a newer view has not claimed a backup record."""
+        owner_changed_at = self.state.ranking.owner_change_times.get(service_key)
+        if (
+            owner_changed_at is None
+            or now - owner_changed_at < self.state.settings.view_settle_seconds
+        ):
             return False
-        return self.state.table.copy_times[slot] < changed
+        return self.state.table.backup_times[slot] < owner_changed_at
 
     def hand_over(self, slot: int, owner: VmId, now: float) -> None:
-        """Give a record to the VM that owns it now."""
+        """Hand a record over to the VM that owns it by the current view."""
         state = self.state
-        held = state.table.copies[slot] == state.ranking.number(owner)
-        owned = state.table.roles[slot] == Role.OWNER
-        if owned and held and state.table.marks[slot] & Mark.CONFIRMED:
-            state.yield_role(slot, Role.COPY, "owner-moved")
+        owner_has_copy = state.table.backup_vms[slot] == state.ranking.vm_number(owner)
+        is_owner = state.table.roles[slot] == Role.OWNER
+        if (
+            is_owner
+            and owner_has_copy
+            and state.table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
+        ):
+            state.release_ownership(slot, Role.BACKUP, "owner-moved")
             return
-        self.batches.collect(slot, owner, now)
+        self.batch_exchange.add_to_batch(slot, owner, now)
 
-    def repair(self, slot: int, now: float) -> None:
-        """Give the backup a record that no packet has brought to it."""
+    def repair_backup(self, slot: int, now: float) -> None:
+        """Send a record in a batch if no packet has brought it to the backup VM."""
         state = self.state
         table = state.table
-        backup = self.callers.copies.backup_of(slot)
-        if backup is None:
+        backup_vm = self.caller_handler.backup_copies.backup_vm_of(slot)
+        if backup_vm is None:
             return
-        if self.state.idle(slot, now) < SILENT_BEFORE_REPAIR_SECONDS:
+        if self.state.idle_seconds(slot, now) < IDLE_BEFORE_REPAIR_SECONDS:
             return
-        held = table.copies[slot] == state.ranking.number(backup)
-        fresh = now - table.copy_times[slot] < self.idle_limit(slot) / 2
-        if held and fresh and table.marks[slot] & Mark.CONFIRMED:
+        backup_has_copy = table.backup_vms[slot] == state.ranking.vm_number(backup_vm)
+        is_recent = now - table.backup_times[slot] < self.idle_limit(slot) / 2
+        if (
+            backup_has_copy
+            and is_recent
+            and table.flow_flags[slot] & FlowFlag.BACKUP_CONFIRMED
+        ):
             return
-        self.batches.collect(slot, backup, now)
+        self.batch_exchange.add_to_batch(slot, backup_vm, now)
 
-    def end_graces(self, now: float) -> None:
-        """Give back the slots of new flows that sent nothing."""
+    def expire_provisional_slots(self, now: float) -> None:
+        """Free the server slots of new flows whose callers sent no bytes in time."""
         state = self.state
         table = state.table
-        while state.graces and state.graces[0].until <= now:
-            grace = state.graces.popleft()
-            slot = table.slots.get(grace.key)
-            if slot is None or table.epochs[slot] != grace.epoch:
+        while state.provisional_slots and state.provisional_slots[0].expires_at <= now:
+            provisional_slot = state.provisional_slots.popleft()
+            slot = table.slots.get(provisional_slot.key)
+            if slot is None or table.epochs[slot] != provisional_slot.epoch:
                 continue
-            if table.marks[slot] & Mark.PROVISIONAL:
-                state.answer_work(slot)
+            if table.flow_flags[slot] & FlowFlag.WORK_PROVISIONAL:
+                state.finish_work(slot)
 
-    def tell_quiet(self, now: float) -> None:
-        """Report once that a leaving VM has nothing left to do."""
+    def report_handover_complete(self, now: float) -> None:
+        """Report once that this VM, which shuts down, has nothing left to do."""
         state = self.state
-        if self.told_quiet or not state.ranking.leaving:
+        if self.handover_reported or not state.ranking.leaving:
             return
-        if state.pending or state.table.counts[Role.OWNER]:
+        if state.pending or state.table.role_counts[Role.OWNER]:
             return
-        if now - state.last_packet < state.settings.quiet_seconds:
+        if now - state.last_packet_time < state.settings.quiet_seconds:
             return
-        self.told_quiet = True
+        self.handover_reported = True
         state.out.append(Quiet())
--- a/libs/membership/src/kumquatmux_membership/freshness.py
+++ b/libs/membership/src/kumquatmux_membership/freshness.py
@@ -1,25 +1,25 @@
-"""Which backend servers may get new work, by the age of what is known of them."""
+"""Classifies backend servers as fresh or stale by the age of their holders' echoes."""
 
 from __future__ import annotations
 
 from kumquatmux_core import decisions
 from kumquatmux_core.identity import ServerId, ServiceName, VmId
 from kumquatmux_membership.events import Lease, ServersChanged
-from kumquatmux_membership.holder import Holder, essence
+from kumquatmux_membership.holder import Holder, without_load_report
 from kumquatmux_membership.known import KnownServers
+from kumquatmux_membership.peer_lease_table import PeerLeaseTable
 from kumquatmux_membership.phases import Phase, phase_of
 from kumquatmux_membership.settings import LeaseSettings
-from kumquatmux_membership.told import ToldTable
 
 
-class Freshness:
-    """Works out the servers again when leases or the age of a holder change.
+class FreshnessTracker:
+    """Reclassifies servers when leases or the freshness of a holder change.
 
     Args:
-        settings: When a holder is stale.
+        settings: Settings of leases; ``stale_seconds`` defines when a holder is stale.
 
     Attributes:
-        dirty: Whether leases have changed since the last review.
+        dirty: Whether leases have changed since the last update.
         valid_until: When the next holder becomes stale, in seconds.
     """
 
@@ -30,23 +30,23 @@
         self.fresh_holders: frozenset[VmId] = frozenset()
         self.latest = ServersChanged((), ())
 
-    def review(
+    def update(
         self,
-        holder: Holder,
-        told: dict[VmId, ToldTable],
-        known: KnownServers,
+        held_lease_table: Holder,
+        peer_tables: dict[VmId, PeerLeaseTable],
+        known_servers: KnownServers,
         now: float,
     ) -> ServersChanged | None:
-        """Return the servers if they are not what they were."""
-        fresh = self._fresh_holders(told, now)
-        if not self.dirty and fresh == self.fresh_holders:
+        """Return the servers if they differ from the last reported ones."""
+        fresh_holders = self._fresh_holders(peer_tables, now)
+        if not self.dirty and fresh_holders == self.fresh_holders:
             return None
-        self._log_holders(fresh)
+        self._log_holder_changes(fresh_holders)
         self.dirty = False
-        self.fresh_holders = fresh
-        tables = [told[vm].leases for vm in sorted(fresh)]
-        claims = _services_by_claim(holder, tables, known)
-        servers = _divide(claims, known)
+        self.fresh_holders = fresh_holders
+        tables = [peer_tables[vm].leases for vm in sorted(fresh_holders)]
+        claims = _claims_by_server(held_lease_table, tables, known_servers)
+        servers = _classify(claims, known_servers)
         if servers == self.latest:
             return None
         self.latest = servers
@@ -56,28 +56,38 @@
         return servers
 
     def _fresh_holders(
-        self, told: dict[VmId, ToldTable], now: float
+        self, peer_tables: dict[VmId, PeerLeaseTable], now: float
     ) -> frozenset[VmId]:
-        limit = self.settings.stale_seconds
-        fresh = [table for table in told.values() if now < table.confirmed + limit]
-        ends = [table.confirmed + limit for table in fresh if table.leases]
-        self.valid_until = min(ends, default=float("inf"))
-        return frozenset(table.holder for table in fresh)
+        stale_seconds = self.settings.stale_seconds
+        fresh_tables = [
+            table
+            for table in peer_tables.values()
+            if now < table.confirmed_at + stale_seconds
+        ]
+        stale_times = [
+            table.confirmed_at + stale_seconds for table in fresh_tables if table.leases
+        ]
+        self.valid_until = min(stale_times, default=float("inf"))
+        return frozenset(table.holder for table in fresh_tables)
 
-    def _log_holders(self, fresh: frozenset[VmId]) -> None:
-        for vm in sorted(self.fresh_holders - fresh):
+    def _log_holder_changes(self, fresh_holders: frozenset[VmId]) -> None:
+        for vm in sorted(self.fresh_holders - fresh_holders):
             decisions.log("holder-stale", vm=vm)
-        for vm in sorted(fresh - self.fresh_holders):
+        for vm in sorted(fresh_holders - self.fresh_holders):
             decisions.log("holder-fresh", vm=vm)
 
 
-def _services_by_claim(
-    holder: Holder, tables: list[dict[ServerId, Lease]], known: KnownServers
+def _claims_by_server(
+    held_lease_table: Holder,
+    tables: list[dict[ServerId, Lease]],
+    known_servers: KnownServers,
 ) -> dict[ServerId, set[tuple[int, ServiceName]]]:
-    """Return the versions and services under which each server is held."""
+    """Return, by server, the version and service of each lease that a VM holds."""
     claims: dict[ServerId, set[tuple[int, ServiceName]]] = {}
-    own = {server: entry.lease for server, entry in holder.held.items()}
-    for table in (own, *tables):
+    local_leases = {
+        server: entry.lease for server, entry in held_lease_table.held.items()
+    }
+    for table in (local_leases, *tables):
         for server, lease in table.items():
             if phase_of(lease.version) == Phase.LEFT:
                 continue
@@ -85,17 +95,19 @@
     return claims
 
 
-def _divide(
-    claims: dict[ServerId, set[tuple[int, ServiceName]]], known: KnownServers
+def _classify(
+    claims: dict[ServerId, set[tuple[int, ServiceName]]], known_servers: KnownServers
 ) -> ServersChanged:
     fresh: list[Lease] = []
     stale: list[Lease] = []
-    for server in sorted(known.servers):
-        lease = known.servers[server].lease
+    for server in sorted(known_servers.servers):
+        lease = known_servers.servers[server].lease
         if phase_of(lease.version) == Phase.LEFT:
             continue
-        told = claims.get(server, set())
-        services = {service for _, service in told}
-        confirmed = (lease.version, lease.service) in told and len(services) == 1
-        (fresh if confirmed else stale).append(essence(lease))
+        server_claims = claims.get(server, set())
+        services = {service for _, service in server_claims}
+        is_fresh = (lease.version, lease.service) in server_claims and len(
+            services
+        ) == 1
+        (fresh if is_fresh else stale).append(without_load_report(lease))
     return ServersChanged(tuple(fresh), tuple(stale))
--- a/libs/membership/src/kumquatmux_membership/holder.py
+++ b/libs/membership/src/kumquatmux_membership/holder.py
@@ -1,4 +1,4 @@
-"""The leases one VM holds itself, with the changes its peers still need."""
+"""The leases that one VM holds, with the changes that its peers still need."""
 
 from __future__ import annotations
 
@@ -9,101 +9,115 @@
 
 
 class HeldLease(NamedTuple):
-    """A lease held here.
+    """A lease that this VM holds.
 
     Attributes:
-        lease: What the server said, at its present phase.
-        expires: When it ends without a renewal, in seconds.
-        changed: Version of the table that made its last change.
+        lease: The announced lease, at its current phase.
+        expires_at: When the lease expires without a renewal, in seconds.
+        changed_version: Version of the table at the lease's last change.
     """
 
     lease: Lease
-    expires: float
-    changed: int
+    expires_at: float
+    changed_version: int
 
 
-class Release(NamedTuple):
-    """A lease no longer held here.
+class ReleasedLease(NamedTuple):
+    """A lease that this VM no longer holds.
 
     Attributes:
-        lease: What it was.
-        changed: Version of the table that released it.
-        at: When, in seconds.
+        lease: The lease as it was held.
+        released_version: Version of the table that released the lease.
+        released_at: When the lease was released, in seconds.
     """
 
     lease: Lease
-    changed: int
-    at: float
+    released_version: int
+    released_at: float
 
 
 class Holder:
-    """A versioned table of the leases held by this VM.
+    """Versioned table of the leases that this VM holds.
 
     Attributes:
-        version: Grows with each change that peers have to know.
+        version: Increases with each change that peers must learn.
         held: Leases held, by server.
-        released: Leases let go lately, by server.
-        pruned: Version up to which releases are forgotten.
+        released_leases: Leases released recently, by server.
+        pruned_version: Table version up to which released leases were removed.
     """
 
     def __init__(self) -> None:
         self.version = 0
         self.held: dict[ServerId, HeldLease] = {}
-        self.released: dict[ServerId, Release] = {}
-        self.pruned = 0
+        self.released_leases: dict[ServerId, ReleasedLease] = {}
+        self.pruned_version = 0
         self.next_expiry = float("inf")
 
-    def hold(self, lease: Lease, expires: float) -> bool:
-        """Hold or renew a lease; return whether peers have to know."""
-        before = self.held.get(lease.server)
-        changed = before is None or essence(before.lease) != essence(lease)
+    def hold(self, lease: Lease, expires_at: float) -> bool:
+        """Hold or renew a lease; return whether peers must learn of a change."""
+        previous = self.held.get(lease.server)
+        changed = previous is None or without_load_report(
+            previous.lease
+        ) != without_load_report(lease)
         if changed:
             self.version += 1
-            self.released.pop(lease.server, None)
-        version = self.version if changed or before is None else before.changed
-        self.held[lease.server] = HeldLease(lease, expires, version)
-        self.next_expiry = min(self.next_expiry, expires)
+            self.released_leases.pop(lease.server, None)
+        version = (
+            self.version if changed or previous is None else previous.changed_version
+        )
+        self.held[lease.server] = HeldLease(lease, expires_at, version)
+        self.next_expiry = min(self.next_expiry, expires_at)
         return changed
 
     def release(self, server: ServerId, now: float) -> None:
-        """Let a lease go."""
+        """Release a held lease."""
         entry = self.held.pop(server)
         self.version += 1
-        self.released[server] = Release(entry.lease, self.version, now)
+        self.released_leases[server] = ReleasedLease(entry.lease, self.version, now)
 
     def expire(self, now: float) -> list[Lease]:
-        """Let go and return the leases whose time is over."""
+        """Release the expired leases and return them."""
         if now < self.next_expiry:
             return []
-        ended = [entry.lease for entry in self.held.values() if entry.expires <= now]
-        for lease in ended:
+        expired = [
+            entry.lease for entry in self.held.values() if entry.expires_at <= now
+        ]
+        for lease in expired:
             self.release(lease.server, now)
-        remaining = (entry.expires for entry in self.held.values())
-        self.next_expiry = min(remaining, default=float("inf"))
-        return ended
-
-    def prune(self, before: float) -> None:
-        """Forget releases older than a time."""
-        old = [entry for entry in self.released.values() if entry.at < before]
-        for entry in old:
-            del self.released[entry.lease.server]
-            self.pruned = max(self.pruned, entry.changed)
+        expiry_times = (entry.expires_at for entry in self.held.values())
+        self.next_expiry = min(expiry_times, default=float("inf"))
+        return expired
+
+    def prune(self, cutoff: float) -> None:
+        """Remove the leases released before a cutoff time."""
+        outdated = [
+            entry
+            for entry in self.released_leases.values()
+            if entry.released_at < cutoff
+        ]
+        for entry in outdated:
+            del self.released_leases[entry.lease.server]
+            self.pruned_version = max(self.pruned_version, entry.released_version)
 
     def changes_since(self, version: int) -> tuple[Lease, ...]:
-        """Return what changed after a version, releases as not held."""
-        held = [entry.lease for entry in self.held.values() if entry.changed > version]
-        gone = [
+        """Return the changes after a version; released leases have ``held`` False."""
+        held = [
+            entry.lease
+            for entry in self.held.values()
+            if entry.changed_version > version
+        ]
+        released = [
             entry.lease._replace(held=False)
-            for entry in self.released.values()
-            if entry.changed > version
+            for entry in self.released_leases.values()
+            if entry.released_version > version
         ]
-        return tuple(held + gone)
+        return tuple(held + released)
 
     def all_leases(self) -> tuple[Lease, ...]:
-        """Return every lease held."""
+        """Return every held lease."""
         return tuple(entry.lease for entry in self.held.values())
 
 
-def essence(lease: Lease) -> Lease:
-    """Return a lease without its load report, which is not worth telling."""
+def without_load_report(lease: Lease) -> Lease:
+    """Return a lease without its load report, which is not sent to peers."""
     return lease._replace(busy=-1, open=-1)
--- a/libs/membership/src/kumquatmux_membership/known.py
+++ b/libs/membership/src/kumquatmux_membership/known.py
@@ -1,4 +1,4 @@
-"""The latest thing known of each backend server, whoever told it."""
+"""The latest known lease of each backend server, whichever VM holds it."""
 
 from __future__ import annotations
 
@@ -11,22 +11,24 @@
 
 
 class KnownServer(NamedTuple):
-    """The highest version seen of a server's lease.
+    """The lease of a server with the highest version seen.
 
     Attributes:
-        lease: The lease at that version.
-        at: When somebody last held it and it had not left, in seconds.
+        lease: The lease with that version.
+        last_held_at: When a VM last held the lease, at the latest when the server left,
+            in seconds.
     """
 
     lease: Lease
-    at: float
+    last_held_at: float
 
 
 class KnownServers:
-    """Servers by name, so that no older message undoes what a later one said.
+    """Latest known leases by server, which older messages cannot overwrite.
 
     Args:
-        settings: How long an address stays with its service.
+        settings: Settings of leases; ``address_hold_seconds`` reserves an address for
+            its service.
     """
 
     def __init__(self, settings: LeaseSettings) -> None:
@@ -34,35 +36,45 @@
         self.servers: dict[ServerId, KnownServer] = {}
 
     def get(self, server: ServerId) -> KnownServer | None:
-        """Return what is known of a server."""
+        """Return the latest known lease of a server, None if there is none."""
         return self.servers.get(server)
 
     def merge(self, lease: Lease, now: float) -> None:
-        """Take a lease that somebody holds now."""
-        before = self.servers.get(lease.server)
-        if before is not None and before.lease.version > lease.version:
+        """Store a lease that a VM holds now, unless it is outdated.
+
+        A lease is outdated if a higher version is known. It is also ignored while its
+        address is reserved for another service.
+        """
+        previous = self.servers.get(lease.server)
+        if previous is not None and previous.lease.version > lease.version:
             return
-        if before is not None and self._belongs_elsewhere(lease, before, now):
+        if previous is not None and self._held_by_other_service(lease, previous, now):
             return
-        at = now
-        if phase_of(lease.version) == Phase.LEFT and before is not None:
-            at = before.at
-        self.servers[lease.server] = KnownServer(lease, at)
-
-    def _belongs_elsewhere(self, lease: Lease, before: KnownServer, now: float) -> bool:
-        if lease.service == before.lease.service:
+        last_held_at = now
+        if phase_of(lease.version) == Phase.LEFT and previous is not None:
+            last_held_at = previous.last_held_at
+        self.servers[lease.server] = KnownServer(lease, last_held_at)
+
+    def _held_by_other_service(
+        self, lease: Lease, previous: KnownServer, now: float
+    ) -> bool:
+        if lease.service == previous.lease.service:
             return False
-        return now - before.at < self.settings.address_hold_seconds
+        return now - previous.last_held_at < self.settings.address_hold_seconds
 
-    def seen(self, server: ServerId, now: float) -> None:
-        """Note that a server which has not left is still held."""
+    def mark_held(self, server: ServerId, now: float) -> None:
+        """Record that a server is still held, unless it has left."""
         entry = self.servers.get(server)
         if entry is not None and phase_of(entry.lease.version) != Phase.LEFT:
-            self.servers[server] = entry._replace(at=now)
-
-    def prune(self, before: float) -> bool:
-        """Forget servers that nobody has held since; return whether any went."""
-        old = [name for name, entry in self.servers.items() if entry.at < before]
-        for name in old:
-            del self.servers[name]
-        return bool(old)
+            self.servers[server] = entry._replace(last_held_at=now)
+
+    def prune(self, cutoff: float) -> bool:
+        """Remove servers last held before a cutoff; return whether any were removed."""
+        outdated = [
+            server
+            for server, entry in self.servers.items()
+            if entry.last_held_at < cutoff
+        ]
+        for server in outdated:
+            del self.servers[server]
+        return bool(outdated)
--- a/libs/membership/tests/test_wire.py
+++ b/libs/membership/tests/test_wire.py
@@ -14,20 +14,20 @@
 VMS = tuple(
     Vm(VmId(name), ZoneName("cnx-a"), ENDPOINT, ENDPOINT) for name in ("", "a", "b")
 )
-NUMBERS = st.integers(-(2**63), 2**64 - 1)
-st.register_type_strategy(int, st.one_of(NUMBERS, st.integers(0, 3)))
+WIRE_INTEGERS = st.integers(-(2**63), 2**64 - 1)
+st.register_type_strategy(int, st.one_of(WIRE_INTEGERS, st.integers(0, 3)))
 st.register_type_strategy(str, st.text(alphabet="ab", max_size=2))
-MESSAGE = st.one_of([st.from_type(kind) for kind in MESSAGE_KINDS.values()])
+MESSAGE_STRATEGY = st.one_of([st.from_type(kind) for kind in MESSAGE_KINDS.values()])
 
 
-@given(MESSAGE)
-def test_every_message_survives_the_trip(message):
+@given(MESSAGE_STRATEGY)
+def test_every_message_is_unchanged_after_encoding_and_decoding(message):
     decoded = MESSAGES.decode(MESSAGES.encode(message)).ok
     assert repr(decoded) == repr(message)
 
 
 @settings(max_examples=200)
-@given(st.lists(MESSAGE, max_size=8))
+@given(st.lists(MESSAGE_STRATEGY, max_size=8))
 def test_no_message_of_a_peer_crashes_the_coordinator(messages):
     coordinator = Coordinator(
         VMS[0], VMS, MembershipSettings(), LeaseSettings(), Random(1)
@@ -38,5 +38,5 @@
 
 
 @given(st.binary(max_size=64))
-def test_no_bytes_crash_the_decoder(data):
+def test_the_decoder_returns_a_result_for_any_bytes(data):
     assert MESSAGES.decode(b"\x01\x02" + data) is not None
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -4,112 +4,154 @@
 
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.choice import Opening, choose
-from kumquatmux_tokens.directory import Directory
-from kumquatmux_tokens.load import LoadTable
+from kumquatmux_tokens.choice import NewFlow, select_server
+from kumquatmux_tokens.directory import ServerDirectory
+from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.work import LoadShare, SharedWork
+from kumquatmux_tokens.work import LoadShare, ServerLoad
 
-NOW = 10.0
-SHORT = Opening((), False, NOW)
-LONG = Opening((), True, NOW)
+NOW_S = 10.0
+FLOW_WITH_FEW_REQUESTS = NewFlow((), False, NOW_S)
+FLOW_WITH_MANY_REQUESTS = NewFlow((), True, NOW_S)
 
 
-def server(name, zone="a", slots=2, warm_up_s=0.0, doubts=0, phase=Phase.READY):
-    place = Endpoint("10.0.0.9", int(name[2:]))
+def make_server_record(
+    name, zone="a", slots=2, warm_up_s=0.0, doubts=0, phase=Phase.READY
+):
+    endpoint = Endpoint("10.0.0.9", int(name[2:]))
     report = Report(
-        Lifetime(name, 1), 1, "entries", place, zone, "v1", slots, phase, warm_up_s
+        Lifetime(name, 1), 1, "entries", endpoint, zone, "v1", slots, phase, warm_up_s
     )
     return ServerRecord(report, "c1", doubts)
 
 
-def chosen(records, busy=(), opening=SHORT, known_at=0.0, open_flows=(), shared=None):
-    """Return the name of the server chosen, given work by name."""
-    directory = Directory()
-    load = LoadTable(TokenSettings("e1", "a"))
+def selected_server_name(
+    records,
+    active_requests=(),
+    flow=FLOW_WITH_FEW_REQUESTS,
+    first_known_at=0.0,
+    open_flows=(),
+    load_report=None,
+):
+    """Return the name of the selected server, given requests and flows by name."""
+    directory = ServerDirectory()
+    load_tracker = LoadTracker(TokenSettings("e1", "a"))
     for record in records:
-        directory.put(record, known_at)
-    for name, count in dict(busy).items():
-        load.work_at(Lifetime(name, 1).token).busy = count
+        directory.store_record(record, first_known_at)
+    for name, count in dict(active_requests).items():
+        load_tracker.local_load_at(Lifetime(name, 1).token).active_requests = count
     for name, count in dict(open_flows).items():
-        load.work_at(Lifetime(name, 1).token).open = count
-    if shared:
-        load.zone.take(shared, NOW)
-    choice = choose(directory.servers("entries"), opening, load, Random(1))
-    return choice and choice.entry.record.report.lifetime.name
+        load_tracker.local_load_at(Lifetime(name, 1).token).open_flows = count
+    if load_report:
+        load_tracker.zone.take(load_report, NOW_S)
+    selection = select_server(
+        directory.running_servers("entries"), flow, load_tracker, Random(1)
+    )
+    return selection and selection.entry.record.report.lifetime.name
 
 
-def test_the_server_with_the_least_work_takes_a_short_flow():
-    assert chosen([server("i-1"), server("i-2")], {"i-1": 1}) == "i-2"
+def test_flow_with_few_requests_goes_to_the_least_loaded_server():
+    assert (
+        selected_server_name(
+            [make_server_record("i-1"), make_server_record("i-2")], {"i-1": 1}
+        )
+        == "i-2"
+    )
 
 
-def test_work_counts_by_slots():
-    records = [server("i-1", slots=8), server("i-2", slots=2)]
-    assert chosen(records, {"i-1": 2, "i-2": 1}) == "i-1"
+def test_load_is_compared_per_slot():
+    records = [make_server_record("i-1", slots=8), make_server_record("i-2", slots=2)]
+    assert selected_server_name(records, {"i-1": 2, "i-2": 1}) == "i-1"
 
 
-def test_the_work_that_other_vms_see_counts_too():
+def test_load_reported_by_other_vms_counts():
     token = Lifetime("i-1", 1).token
-    shared = LoadShare("e2", 1, True, 0, (SharedWork(token, 3, 3, False),))
-    assert chosen([server("i-1"), server("i-2")], {"i-2": 1}, shared=shared) == "i-2"
-
-
-def test_a_flow_stays_in_its_zone_until_its_servers_are_busy():
-    records = [server("i-1", "a"), server("i-2", "b")]
-    assert chosen(records, {"i-1": 1}) == "i-1"
-    assert chosen(records, {"i-1": 3}) == "i-2"
+    load_report = LoadShare("e2", 1, True, 0, (ServerLoad(token, 3, 3, False),))
+    assert (
+        selected_server_name(
+            [make_server_record("i-1"), make_server_record("i-2")],
+            {"i-2": 1},
+            load_report=load_report,
+        )
+        == "i-2"
+    )
 
 
-def test_a_long_flow_goes_where_the_fewest_flows_are_whatever_is_busy_now():
-    records = [server("i-1"), server("i-2")]
-    work = {"busy": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
-    assert chosen(records, opening=LONG, **work) == "i-1"
+def test_flow_leaves_its_zone_only_if_the_local_servers_are_busy():
+    records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
+    assert selected_server_name(records, {"i-1": 1}) == "i-1"
+    assert selected_server_name(records, {"i-1": 3}) == "i-2"
 
 
-def test_a_long_flow_does_not_leave_its_zone_for_a_moments_work():
-    records = [server("i-1", "a"), server("i-2", "b")]
-    assert chosen(records, {"i-1": 3}, opening=LONG) == "i-1"
+def test_flow_with_many_requests_goes_to_the_server_with_fewest_open_flows():
+    records = [make_server_record("i-1"), make_server_record("i-2")]
+    loads = {"active_requests": {"i-1": 1}, "open_flows": {"i-1": 5, "i-2": 40}}
+    assert selected_server_name(records, flow=FLOW_WITH_MANY_REQUESTS, **loads) == "i-1"
 
 
-def test_a_server_that_warms_up_gets_less():
-    records = [server("i-1", warm_up_s=30.0), server("i-2")]
-    assert chosen(records, {"i-2": 1}) == "i-2"
-    assert chosen(records, {"i-2": 2}) == "i-1"
+def test_flow_with_many_requests_stays_in_its_zone_despite_active_requests():
+    records = [make_server_record("i-1", "a"), make_server_record("i-2", "b")]
+    assert (
+        selected_server_name(records, {"i-1": 3}, flow=FLOW_WITH_MANY_REQUESTS) == "i-1"
+    )
 
 
-def test_last_resorts_come_in_their_order():
-    late, tried, fine = server("i-1", doubts=1), server("i-2"), server("i-3")
-    after = Opening((tried.token,), False, NOW)
-    assert chosen([late, tried, fine], {"i-3": 5}, opening=after) == "i-3"
-    assert chosen([late, tried], opening=after) == "i-1"
-    assert chosen([tried], opening=after) == "i-2"
+def test_server_in_warm_up_gets_fewer_flows():
+    records = [make_server_record("i-1", warm_up_s=30.0), make_server_record("i-2")]
+    assert selected_server_name(records, {"i-2": 1}) == "i-2"
+    assert selected_server_name(records, {"i-2": 2}) == "i-1"
 
 
-def test_a_server_that_nobody_else_may_know_yet_waits_a_moment():
-    known = [server("i-1", "b")]
-    assert chosen(known, known_at=NOW - 0.05) == "i-1"
-    directory = Directory()
-    directory.put(server("i-1"), NOW - 0.05)
-    directory.put(server("i-2", "b"), 0.0)
-    load = LoadTable(TokenSettings("e1", "a"))
-    choice = choose(directory.servers("entries"), SHORT, load, Random(1))
-    assert choice.entry.record.report.lifetime.name == "i-2"
+def test_last_resort_servers_are_selected_by_priority_level():
+    overdue, tried, healthy = (
+        make_server_record("i-1", doubts=1),
+        make_server_record("i-2"),
+        make_server_record("i-3"),
+    )
+    retried_flow = NewFlow((tried.token,), False, NOW_S)
+    assert (
+        selected_server_name([overdue, tried, healthy], {"i-3": 5}, flow=retried_flow)
+        == "i-3"
+    )
+    assert selected_server_name([overdue, tried], flow=retried_flow) == "i-1"
+    assert selected_server_name([tried], flow=retried_flow) == "i-2"
+
+
+def test_newly_known_server_is_not_preferred():
+    records = [make_server_record("i-1", "b")]
+    assert selected_server_name(records, first_known_at=NOW_S - 0.05) == "i-1"
+    directory = ServerDirectory()
+    directory.store_record(make_server_record("i-1"), NOW_S - 0.05)
+    directory.store_record(make_server_record("i-2", "b"), 0.0)
+    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    selection = select_server(
+        directory.running_servers("entries"),
+        FLOW_WITH_FEW_REQUESTS,
+        load_tracker,
+        Random(1),
+    )
+    assert selection.entry.record.report.lifetime.name == "i-2"
 
 
-def test_servers_of_a_zone_that_does_not_answer_come_last():
-    directory = Directory()
-    directory.put(server("i-1", "b"), 0.0)
-    directory.put(server("i-2", "c"), 0.0)
-    load = LoadTable(TokenSettings("e1", "a"))
-    load.silent_zones = frozenset({"b"})
-    names = set()
+def test_servers_of_an_unreachable_zone_are_a_last_resort():
+    directory = ServerDirectory()
+    directory.store_record(make_server_record("i-1", "b"), 0.0)
+    directory.store_record(make_server_record("i-2", "c"), 0.0)
+    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker.silent_zones = frozenset({"b"})
+    selected_names = set()
     for seed in range(20):
-        choice = choose(directory.servers("entries"), SHORT, load, Random(seed))
-        names.add(choice.entry.record.report.lifetime.name)
-    assert names == {"i-2"}
-
-
-def test_servers_that_leave_or_have_ended_are_no_choice():
-    leaving = server("i-1", phase=Phase.DRAINING)
-    over = server("i-2", phase=Phase.ENDED)
-    assert chosen([leaving, over]) is None
+        selection = select_server(
+            directory.running_servers("entries"),
+            FLOW_WITH_FEW_REQUESTS,
+            load_tracker,
+            Random(seed),
+        )
+        selected_names.add(selection.entry.record.report.lifetime.name)
+    assert selected_names == {"i-2"}
+
+
+def test_draining_and_ended_servers_are_not_selected():
+    draining = make_server_record("i-1", phase=Phase.DRAINING)
+    ended = make_server_record("i-2", phase=Phase.ENDED)
+    assert selected_server_name([draining, ended]) is None
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -2,70 +2,72 @@
 
 import pytest
 
-from kumquatmux_tokens.placers import Placers
+from kumquatmux_tokens.placers import CoordinatorSelector
 from kumquatmux_tokens.settings import TokenSettings
 
-PEERS = ("e1", "e2", "e3")
-FLOW = bytes(12)
+ENTRY_VMS = ("e1", "e2", "e3")
+FLOW_KEY = bytes(12)
 
 
 @pytest.fixture
-def placers():
-    made = Placers(TokenSettings("e1", "a"))
-    made.set_peers(PEERS)
-    return made
+def coordinators():
+    selector = CoordinatorSelector(TokenSettings("e1", "a"))
+    selector.set_peers(ENTRY_VMS)
+    return selector
 
 
-def others_service(placers):
-    """Return a service that another VM places."""
-    names = (f"service-{number}" for number in range(99))
-    return next(name for name in names if placers.placer(name, 0.0) != "e1")
+def service_of_another_coordinator(coordinators):
+    """Return a service whose placement coordinator is another VM."""
+    service_names = (f"service-{number}" for number in range(99))
+    return next(
+        name for name in service_names if coordinators.placer(name, 0.0) != "e1"
+    )
 
 
-def test_all_vms_of_a_zone_name_the_same_placer():
+def test_all_vms_of_a_zone_select_the_same_coordinator():
     for service in ("entries", "pagesetter", "depot-desk"):
-        named = set()
-        for vm in PEERS:
-            one = Placers(TokenSettings(vm, "a"))
-            one.set_peers(PEERS)
-            named.add(one.placer(service, 0.0))
-        assert len(named) == 1
-
-
-def test_a_vm_without_peers_places_itself():
-    assert Placers(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
-
-
-def test_a_placer_that_does_not_answer_is_left_alone_for_a_while(placers):
-    service = others_service(placers)
-    first = placers.placer(service, 0.0)
-    placers.ask(first, FLOW, 0.0)
-    assert placers.is_open(FLOW, 0.02)
-    assert not placers.is_open(FLOW, 0.04)
-    assert placers.placer(service, 0.1) != first
-    assert placers.placer(service, 1.1) == first
-
-
-def test_a_placer_that_goes_on_without_answers_is_left_alone_longer(placers):
-    service = others_service(placers)
-    first = placers.placer(service, 0.0)
-    for start in (0.0, 1.1):
-        placers.ask(first, FLOW, start)
-        placers.is_open(FLOW, start + 0.04)
-    assert placers.placer(service, 3.0) != first
-    assert placers.placer(service, 3.2) == first
-
-
-def test_an_answer_ends_the_doubt(placers):
-    service = others_service(placers)
-    first = placers.placer(service, 0.0)
-    placers.ask(first, FLOW, 0.0)
-    placers.is_open(FLOW, 0.04)
-    placers.answered(first, FLOW)
-    assert placers.placer(service, 0.05) == first
-
-
-def test_questions_that_nobody_minds_are_dropped(placers):
-    placers.ask("e2", FLOW, 0.0)
-    placers.sweep(0.5)
-    assert placers.asked == {}
+        selected_vms = set()
+        for vm in ENTRY_VMS:
+            selector = CoordinatorSelector(TokenSettings(vm, "a"))
+            selector.set_peers(ENTRY_VMS)
+            selected_vms.add(selector.placer(service, 0.0))
+        assert len(selected_vms) == 1
+
+
+def test_vm_without_peers_is_its_own_coordinator():
+    assert CoordinatorSelector(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
+
+
+def test_unresponsive_coordinator_is_skipped_during_its_backoff(coordinators):
+    service = service_of_another_coordinator(coordinators)
+    coordinator = coordinators.placer(service, 0.0)
+    coordinators.record_request(coordinator, FLOW_KEY, 0.0)
+    assert coordinators.is_pending(FLOW_KEY, 0.02)
+    assert not coordinators.is_pending(FLOW_KEY, 0.04)
+    assert coordinators.placer(service, 0.1) != coordinator
+    assert coordinators.placer(service, 1.1) == coordinator
+
+
+def test_backoff_doubles_after_a_second_timeout(coordinators):
+    service = service_of_another_coordinator(coordinators)
+    coordinator = coordinators.placer(service, 0.0)
+    for sent_at in (0.0, 1.1):
+        coordinators.record_request(coordinator, FLOW_KEY, sent_at)
+        coordinators.is_pending(FLOW_KEY, sent_at + 0.04)
+    assert coordinators.placer(service, 3.0) != coordinator
+    assert coordinators.placer(service, 3.2) == coordinator
+
+
+def test_answer_ends_the_backoff(coordinators):
+    service = service_of_another_coordinator(coordinators)
+    coordinator = coordinators.placer(service, 0.0)
+    coordinators.record_request(coordinator, FLOW_KEY, 0.0)
+    coordinators.is_pending(FLOW_KEY, 0.04)
+    coordinators.record_answer(coordinator, FLOW_KEY)
+    assert coordinators.placer(service, 0.05) == coordinator
+
+
+def test_timed_out_placement_requests_are_removed(coordinators):
+    coordinators.record_request("e2", FLOW_KEY, 0.0)
+    coordinators.remove_expired(0.5)
+    assert coordinators.pending_requests == {}
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -14,272 +14,328 @@
 from kumquatmux_tokens.routes import Route, RouteSet, Share
 from kumquatmux_tokens.settings import TokenSettings
 
-ROUTE = bytes([198, 18, 0, 1, 1, 187])
-OTHER = bytes([198, 18, 0, 2, 1, 187])
-SETTLED = 10.0
-
-
-def server(name="i-1", born=1, number=1, service="entries", zone="a", **other):
-    place = Endpoint("10.0.0.9", int(name[2:]))
-    lifetime = Lifetime(name, born)
-    report = Report(lifetime, number, service, place, zone, "v1", 2, Phase.READY, 0.0)
-    return ServerRecord(report._replace(**other), "c1")
+ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
+OTHER_ROUTE_ADDRESS = bytes([198, 18, 0, 2, 1, 187])
+# Servers that became known at 0 s are past the new-server delay at this time.
+NOW_S = 10.0
+
+
+def make_server_record(
+    name="i-1", born_ms=1, number=1, service="entries", zone="a", **changes
+):
+    endpoint = Endpoint("10.0.0.9", int(name[2:]))
+    lifetime = Lifetime(name, born_ms)
+    report = Report(
+        lifetime, number, service, endpoint, zone, "v1", 2, Phase.READY, 0.0
+    )
+    return ServerRecord(report._replace(**changes), "c1")
 
 
-def routes(number=1, **services):
-    found = services or {"entries": ROUTE}
-    table = tuple(
-        Route(name, address, (Share(name, 1),)) for name, address in found.items()
+def make_route_set(number=1, **services):
+    addresses = services or {"entries": ROUTE_ADDRESS}
+    routes = tuple(
+        Route(name, address, (Share(name, 1),)) for name, address in addresses.items()
     )
-    return RouteSet(number, table, frozenset(found), 15.0)
+    return RouteSet(number, routes, frozenset(addresses), 15.0)
 
 
-def flow_of(caller, route):
-    return bytes([100, 64, 0, 1]) + caller.to_bytes(2) + route
+def make_flow_key(caller, route_address):
+    return bytes([100, 64, 0, 1]) + caller.to_bytes(2) + route_address
 
 
-def opening(caller=1, copy=0, route=ROUTE):
-    return Head(flow_of(caller, route), route, 0, True, False, copy, 100, copy, 0)
+def make_syn(caller=1, retransmission_count=0, route_address=ROUTE_ADDRESS):
+    return Head(
+        make_flow_key(caller, route_address),
+        route_address,
+        0,
+        True,
+        False,
+        retransmission_count,
+        100,
+        retransmission_count,
+        0,
+    )
 
 
-def data(token, caller=1, route=ROUTE, sequence=101, acknowledged=500, length=9):
-    flow = flow_of(caller, route)
-    return Head(flow, route, token, False, False, 0, sequence, acknowledged, length)
+def make_data_packet(
+    token,
+    caller=1,
+    route_address=ROUTE_ADDRESS,
+    sequence=101,
+    acknowledged=500,
+    length=9,
+):
+    flow_key = make_flow_key(caller, route_address)
+    return Head(
+        flow_key, route_address, token, False, False, 0, sequence, acknowledged, length
+    )
 
 
-def router(*servers, now=0.0, number=1):
-    made = TokenRouter(TokenSettings("e1", "a"), Random(1), now)
-    made.install(routes(number), now)
-    for one in servers:
-        made.learn(one, now)
-    return made
+def make_router(*servers, now=0.0, number=1):
+    router = TokenRouter(TokenSettings("e1", "a"), Random(1), now)
+    router.install(make_route_set(number), now)
+    for record in servers:
+        router.learn(record, now)
+    return router
 
 
-def test_an_opening_packet_goes_to_a_server_of_the_routes_service():
-    mine = server("i-1")
-    made = router(mine, server("i-2", service="pagesetter"))
-    assert made.handle(opening(), SETTLED) == Forward(mine, mine.token)
+def test_syn_goes_to_a_server_of_the_routes_service():
+    record = make_server_record("i-1")
+    router = make_router(record, make_server_record("i-2", service="pagesetter"))
+    assert router.handle(make_syn(), NOW_S) == Forward(record, record.token)
 
 
-def test_later_packets_follow_their_token_without_any_record():
-    mine = server("i-1")
-    made = router(mine, server("i-2"))
-    assert made.handle(data(mine.token), SETTLED) == Forward(mine, mine.token)
+def test_data_packet_is_routed_by_its_token_without_flow_state():
+    record = make_server_record("i-1")
+    router = make_router(record, make_server_record("i-2"))
+    assert router.handle(make_data_packet(record.token), NOW_S) == Forward(
+        record, record.token
+    )
 
 
-def test_an_unknown_token_is_asked_for_and_never_guessed():
-    made = router(server("i-1"))
-    assert made.handle(data(77), SETTLED) == Hold(77)
-    assert made.handle(data(0), SETTLED) == Drop("no-token")
+def test_packet_with_an_unknown_token_is_not_forwarded():
+    router = make_router(make_server_record("i-1"))
+    assert router.handle(make_data_packet(77), NOW_S) == Hold(77)
+    assert router.handle(make_data_packet(0), NOW_S) == Drop("no-token")
 
 
-def test_held_packets_are_released_when_their_server_is_known():
-    mine = server("i-3")
-    made = router(server("i-1"))
-    head = data(mine.token)
-    assert made.held.put(head, b"one", SETTLED) is True
-    assert made.held.put(head, b"two", SETTLED) is False
-    released = made.learn(mine, SETTLED + 0.1)
-    assert [held.data for held in released] == [b"one", b"two"]
-    assert made.held.count == 0
+def test_buffered_packets_are_returned_when_their_server_becomes_known():
+    record = make_server_record("i-3")
+    router = make_router(make_server_record("i-1"))
+    header = make_data_packet(record.token)
+    assert router.held.put(header, b"one", NOW_S) is True
+    assert router.held.put(header, b"two", NOW_S) is False
+    packets = router.learn(record, NOW_S + 0.1)
+    assert [packet.data for packet in packets] == [b"one", b"two"]
+    assert router.held.count == 0
 
 
-def test_held_packets_are_dropped_after_a_while():
-    made = router()
-    made.held.put(data(77), b"one", SETTLED)
-    made.sweep(SETTLED + 1.4)
-    assert made.held.count == 1
-    made.sweep(SETTLED + 1.6)
-    assert made.held.count == 0
+def test_buffered_packets_expire():
+    router = make_router()
+    router.held.put(make_data_packet(77), b"one", NOW_S)
+    router.sweep(NOW_S + 1.4)
+    assert router.held.count == 1
+    router.sweep(NOW_S + 1.6)
+    assert router.held.count == 0
 
 
-def test_a_route_that_never_was_is_refused_at_once():
-    made = router(server("i-1"))
-    assert made.handle(opening(route=OTHER), SETTLED) == Reset(0, "no-route")
+def test_syn_to_an_unknown_route_is_reset():
+    router = make_router(make_server_record("i-1"))
+    assert router.handle(make_syn(route_address=OTHER_ROUTE_ADDRESS), NOW_S) == Reset(
+        0, "no-route"
+    )
 
 
-def test_openings_wait_until_a_document_is_there():
-    made = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
-    assert made.handle(opening(), SETTLED) == Wait("no-document")
+def test_syn_waits_until_a_document_is_installed():
+    router = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
+    assert router.handle(make_syn(), NOW_S) == Wait("no-document")
 
 
-def test_openings_wait_for_a_first_server_and_are_refused_when_none_comes():
-    made = router(now=0.0)
-    assert made.handle(opening(), 4.0) == Wait("no-server-yet")
-    assert made.handle(opening(), 6.0) == Reset(0, "no-server")
+def test_syn_waits_for_a_first_server_and_is_reset_after_the_timeout():
+    router = make_router(now=0.0)
+    assert router.handle(make_syn(), 4.0) == Wait("no-server-yet")
+    assert router.handle(make_syn(), 6.0) == Reset(0, "no-server")
 
 
-def test_a_leaving_server_gets_no_new_flow_and_keeps_its_open_ones():
-    leaving = server("i-1", phase=Phase.DRAINING, number=2)
-    staying = server("i-2")
-    made = router(leaving, staying)
+def test_draining_server_keeps_open_flows_but_gets_no_new_flow():
+    draining = make_server_record("i-1", phase=Phase.DRAINING, number=2)
+    ready = make_server_record("i-2")
+    router = make_router(draining, ready)
     for caller in range(6):
-        decision = made.handle(opening(caller), SETTLED)
-        assert decision.server == staying
-    assert made.handle(data(leaving.token), SETTLED).server == leaving
-
-
-def test_flows_of_an_ended_server_are_reset_after_a_moment():
-    made = router(server("i-1"))
-    over = server("i-1", number=2, phase=Phase.ENDED)
-    made.learn(over, SETTLED)
-    token = over.token
-    assert isinstance(made.handle(data(token), SETTLED + 0.5), Forward)
-    assert made.handle(data(token, acknowledged=640), SETTLED + 1.1) == Reset(
-        640, "server-ended"
+        decision = router.handle(make_syn(caller), NOW_S)
+        assert decision.server == ready
+    assert router.handle(make_data_packet(draining.token), NOW_S).server == draining
+
+
+def test_flows_of_an_ended_server_are_reset_after_the_grace_period():
+    router = make_router(make_server_record("i-1"))
+    ended = make_server_record("i-1", number=2, phase=Phase.ENDED)
+    router.learn(ended, NOW_S)
+    token = ended.token
+    assert isinstance(router.handle(make_data_packet(token), NOW_S + 0.5), Forward)
+    assert router.handle(
+        make_data_packet(token, acknowledged=640), NOW_S + 1.1
+    ) == Reset(640, "server-ended")
+
+
+def test_flows_of_the_previous_lifetime_are_reset_after_a_server_restart():
+    previous, current = (
+        make_server_record("i-1", born_ms=1),
+        make_server_record("i-1", born_ms=2),
+    )
+    router = make_router(previous)
+    router.learn(current, NOW_S)
+    later = NOW_S + 1.1
+    assert isinstance(router.handle(make_data_packet(previous.token), later), Reset)
+    assert router.handle(make_data_packet(current.token), later).server == current
+
+
+def test_open_flows_of_a_removed_route_are_reset_after_the_grace_period():
+    record = make_server_record("i-1")
+    router = make_router(record)
+    router.install(make_route_set(2, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
+    assert router.handle(make_syn(), NOW_S) == Reset(0, "no-route")
+    assert isinstance(
+        router.handle(make_data_packet(record.token), NOW_S + 5.0), Forward
+    )
+    assert router.handle(make_data_packet(record.token), NOW_S + 6.1) == Reset(
+        500, "route-removed"
     )
 
 
-def test_flows_of_a_start_before_are_reset_when_the_name_comes_back():
-    before, after = server("i-1", born=1), server("i-1", born=2)
-    made = router(before)
-    made.learn(after, SETTLED)
-    later = SETTLED + 1.1
-    assert isinstance(made.handle(data(before.token), later), Reset)
-    assert made.handle(data(after.token), later).server == after
-
-
-def test_open_flows_of_a_removed_route_go_on_until_every_vm_knows():
-    mine = server("i-1")
-    made = router(mine)
-    made.install(routes(2, pagesetter=OTHER), SETTLED)
-    assert made.handle(opening(), SETTLED) == Reset(0, "no-route")
-    assert isinstance(made.handle(data(mine.token), SETTLED + 5.0), Forward)
-    assert made.handle(data(mine.token), SETTLED + 6.1) == Reset(500, "route-removed")
-
-
-def test_a_document_with_a_lower_number_changes_nothing():
-    made = router(server("i-1"), number=5)
-    assert made.install(routes(4, pagesetter=OTHER), SETTLED) is False
-    assert isinstance(made.handle(opening(), SETTLED), Forward)
-
-
-def test_a_copy_of_an_opening_packet_goes_to_another_server():
-    first, second = server("i-1"), server("i-2")
-    made = router(first, second)
-    one = made.handle(opening(), SETTLED).server
-    two = made.handle(opening(copy=1), SETTLED + 0.2).server
-    assert {one, two} == {first, second}
-
-
-def test_the_same_opening_packet_twice_goes_to_the_same_server():
-    made = router(server("i-1"), server("i-2"))
-    one = made.handle(opening(), SETTLED)
-    assert made.handle(opening(), SETTLED + 0.01) == one
+def test_document_with_a_lower_number_is_ignored():
+    router = make_router(make_server_record("i-1"), number=5)
+    assert (
+        router.install(make_route_set(4, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
+        is False
+    )
+    assert isinstance(router.handle(make_syn(), NOW_S), Forward)
 
 
-def test_a_copy_that_comes_right_behind_says_nothing_about_the_server():
-    made = router(server("i-1"), server("i-2"))
-    one = made.handle(opening(), SETTLED)
-    assert made.handle(opening(copy=1), SETTLED + 0.05) == one
-    assert made.load.work[one.token].strikes == 0
+def test_retransmitted_syn_goes_to_another_server():
+    first, second = make_server_record("i-1"), make_server_record("i-2")
+    router = make_router(first, second)
+    first_choice = router.handle(make_syn(), NOW_S).server
+    second_choice = router.handle(make_syn(retransmission_count=1), NOW_S + 0.2).server
+    assert {first_choice, second_choice} == {first, second}
 
 
-def test_a_server_that_does_not_answer_is_avoided_and_tried_again_later():
-    dead, alive = server("i-1"), server("i-2")
-    made = router(dead, alive)
-    made.load.work_at(alive.token).busy = 1
-    assert made.handle(opening(1), SETTLED).server == dead
-    made.handle(opening(1, copy=1), SETTLED + 0.2)
-    assert made.handle(opening(2), SETTLED + 0.3).server == alive
-    assert made.handle(opening(3), SETTLED + 0.9).server == dead
+def test_duplicate_syn_goes_to_the_same_server():
+    router = make_router(make_server_record("i-1"), make_server_record("i-2"))
+    first_decision = router.handle(make_syn(), NOW_S)
+    assert router.handle(make_syn(), NOW_S + 0.01) == first_decision
 
 
-def test_a_caller_that_goes_on_stays_with_the_server_it_answered_first():
-    made = router(server("i-1"), server("i-2"))
-    one = made.handle(opening(), SETTLED)
-    two = made.handle(opening(copy=1), SETTLED + 0.2)
-    assert made.handle(data(one.token), SETTLED + 0.3).server == one.server
-    late = made.handle(data(two.token, sequence=110), SETTLED + 0.4)
-    assert late == Forward(one.server, one.token)
+def test_immediate_retransmission_is_not_counted_against_the_server():
+    router = make_router(make_server_record("i-1"), make_server_record("i-2"))
+    first_decision = router.handle(make_syn(), NOW_S)
+    assert (
+        router.handle(make_syn(retransmission_count=1), NOW_S + 0.05) == first_decision
+    )
+    assert router.load.local_loads[first_decision.token].unanswered_syns == 0
+
+
+def test_unresponsive_server_is_avoided_for_a_limited_time():
+    unresponsive, responsive = make_server_record("i-1"), make_server_record("i-2")
+    router = make_router(unresponsive, responsive)
+    router.load.local_load_at(responsive.token).active_requests = 1
+    assert router.handle(make_syn(1), NOW_S).server == unresponsive
+    router.handle(make_syn(1, retransmission_count=1), NOW_S + 0.2)
+    assert router.handle(make_syn(2), NOW_S + 0.3).server == responsive
+    assert router.handle(make_syn(3), NOW_S + 0.9).server == unresponsive
+
+
+def test_flow_stays_with_the_first_server_that_its_caller_answers():
+    router = make_router(make_server_record("i-1"), make_server_record("i-2"))
+    first_decision = router.handle(make_syn(), NOW_S)
+    second_decision = router.handle(make_syn(retransmission_count=1), NOW_S + 0.2)
+    assert (
+        router.handle(make_data_packet(first_decision.token), NOW_S + 0.3).server
+        == first_decision.server
+    )
+    late_decision = router.handle(
+        make_data_packet(second_decision.token, sequence=110), NOW_S + 0.4
+    )
+    assert late_decision == Forward(first_decision.server, first_decision.token)
 
 
-def test_servers_whose_tokens_clash_get_no_new_flow(monkeypatch):
-    made = router(server("i-1"))
+def test_servers_with_colliding_tokens_get_no_new_flow(monkeypatch):
+    router = make_router(make_server_record("i-1"))
     monkeypatch.setattr(Lifetime, "token", property(lambda self: 5))
-    made.learn(server("i-2"), 0.0)
-    made.learn(server("i-3"), 0.0)
-    made.directory.by_service["entries"] = {
-        token: one
-        for token, one in made.directory.by_service["entries"].items()
+    router.learn(make_server_record("i-2"), 0.0)
+    router.learn(make_server_record("i-3"), 0.0)
+    router.directory.by_service["entries"] = {
+        token: entry
+        for token, entry in router.directory.by_service["entries"].items()
         if token == 5
     }
-    assert made.directory.clashing == {5}
-    assert made.handle(opening(), 3.0) == Wait("no-server-yet")
+    assert router.directory.colliding_tokens == {5}
+    assert router.handle(make_syn(), 3.0) == Wait("no-server-yet")
 
 
-def repeated(made, token, times=3, gap_s=0.3):
-    """Send the same data again and again; return the last decision."""
-    for count in range(times):
-        decision = made.handle(data(token), SETTLED + count * gap_s)
+def retransmit(router, token, times=3, gap_s=0.3):
+    """Send the same data several times; return the last decision."""
+    for transmission in range(times):
+        decision = router.handle(make_data_packet(token), NOW_S + transmission * gap_s)
     return decision
 
 
-def test_a_lost_flow_is_reset_when_its_server_is_late_too():
-    mine = server("i-1")._replace(doubts=1)
-    made = router(mine, server("i-2"))
-    assert repeated(made, mine.token, times=2) == Forward(mine, mine.token)
-    assert made.handle(data(mine.token), SETTLED + 0.6) == Reset(500, "server-silent")
+def test_unanswered_flow_is_reset_if_server_reports_are_overdue():
+    record = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(record, make_server_record("i-2"))
+    assert retransmit(router, record.token, times=2) == Forward(record, record.token)
+    assert router.handle(make_data_packet(record.token), NOW_S + 0.6) == Reset(
+        500, "server-silent"
+    )
 
 
-def test_a_lost_flow_is_reset_when_its_zone_is_silent():
-    mine = server("i-1", zone="b")
-    made = router(mine)
-    made.load.silent_zones = frozenset({"b"})
-    assert isinstance(repeated(made, mine.token), Reset)
+def test_unanswered_flow_is_reset_if_the_zone_is_unreachable():
+    record = make_server_record("i-1", zone="b")
+    router = make_router(record)
+    router.load.silent_zones = frozenset({"b"})
+    assert isinstance(retransmit(router, record.token), Reset)
 
 
-def test_a_lost_flow_is_reset_when_opening_packets_go_unanswered():
-    mine = server("i-1")
-    made = router(mine)
-    made.load.work_at(mine.token).strikes = 1
-    assert isinstance(repeated(made, mine.token), Reset)
+def test_unanswered_flow_is_reset_if_syns_are_unanswered_too():
+    record = make_server_record("i-1")
+    router = make_router(record)
+    router.load.local_load_at(record.token).unanswered_syns = 1
+    assert isinstance(retransmit(router, record.token), Reset)
 
 
-def test_a_caller_that_repeats_itself_alone_is_never_reset():
-    mine = server("i-1")
-    made = router(mine)
-    assert isinstance(repeated(made, mine.token, times=9), Forward)
+def test_unanswered_flow_is_not_reset_without_further_evidence():
+    record = make_server_record("i-1")
+    router = make_router(record)
+    assert isinstance(retransmit(router, record.token, times=9), Forward)
 
 
-def test_a_server_that_answers_another_caller_has_not_lost_the_flow():
-    mine = server("i-1")._replace(doubts=1)
-    made = router(mine)
-    made.handle(data(mine.token), SETTLED)
-    made.handle(data(mine.token, caller=2), SETTLED + 0.1)
-    made.handle(data(mine.token, caller=2, acknowledged=900, length=0), SETTLED + 0.2)
-    made.handle(data(mine.token), SETTLED + 0.3)
-    assert isinstance(made.handle(data(mine.token), SETTLED + 0.6), Forward)
+def test_flow_is_not_reset_if_its_server_answers_another_caller():
+    record = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(record)
+    router.handle(make_data_packet(record.token), NOW_S)
+    router.handle(make_data_packet(record.token, caller=2), NOW_S + 0.1)
+    router.handle(
+        make_data_packet(record.token, caller=2, acknowledged=900, length=0),
+        NOW_S + 0.2,
+    )
+    router.handle(make_data_packet(record.token), NOW_S + 0.3)
+    assert isinstance(
+        router.handle(make_data_packet(record.token), NOW_S + 0.6), Forward
+    )
 
 
-def test_packets_that_queued_while_this_vm_stood_still_reset_nothing():
-    mine = server("i-1")._replace(doubts=1)
-    made = router(mine)
-    assert isinstance(repeated(made, mine.token, times=9, gap_s=0.0), Forward)
+def test_retransmissions_queued_during_a_pause_do_not_reset_the_flow():
+    record = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(record)
+    assert isinstance(retransmit(router, record.token, times=9, gap_s=0.0), Forward)
 
 
-def test_an_answered_request_starts_the_count_anew():
-    mine = server("i-1")._replace(doubts=1)
-    made = router(mine)
-    repeated(made, mine.token, times=2)
-    made.handle(data(mine.token, acknowledged=900, length=0), SETTLED + 0.4)
-    assert isinstance(made.handle(data(mine.token), SETTLED + 0.7), Forward)
+def test_answer_restarts_the_retransmission_count():
+    record = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(record)
+    retransmit(router, record.token, times=2)
+    router.handle(
+        make_data_packet(record.token, acknowledged=900, length=0), NOW_S + 0.4
+    )
+    assert isinstance(
+        router.handle(make_data_packet(record.token), NOW_S + 0.7), Forward
+    )
 
 
-def test_new_flows_wait_when_every_server_has_much_work_waiting():
-    mine = server("i-1")
-    made = router(mine)
-    made.load.work_at(mine.token).busy = 8
-    assert made.handle(opening(), SETTLED) == Wait("no-slot")
-    made.load.work_at(mine.token).busy = 7
-    assert isinstance(made.handle(opening(), SETTLED), Forward)
+def test_syn_waits_while_every_server_queue_is_full():
+    record = make_server_record("i-1")
+    router = make_router(record)
+    router.load.local_load_at(record.token).active_requests = 8
+    assert router.handle(make_syn(), NOW_S) == Wait("no-slot")
+    router.load.local_load_at(record.token).active_requests = 7
+    assert isinstance(router.handle(make_syn(), NOW_S), Forward)
 
 
-HEADS = st.builds(
+HEADERS = st.builds(
     Head,
     flow=st.binary(min_size=12, max_size=12),
-    route=st.sampled_from([ROUTE, OTHER]),
-    token=st.sampled_from([0, 1, server("i-1").token, 0xFFFFFFFF]),
+    route=st.sampled_from([ROUTE_ADDRESS, OTHER_ROUTE_ADDRESS]),
+    token=st.sampled_from([0, 1, make_server_record("i-1").token, 0xFFFFFFFF]),
     is_opening=st.booleans(),
     is_closing=st.booleans(),
     copy=st.integers(0, 0xFFFFFFFF),
@@ -289,112 +345,121 @@
 )
 
 
-@given(st.lists(HEADS, max_size=30))
-def test_whatever_comes_work_is_never_counted_below_zero(heads):
-    made = router(server("i-1"), server("i-2"))
-    now = SETTLED
-    for head in heads:
+@given(st.lists(HEADERS, max_size=30))
+def test_load_counts_are_never_negative(headers):
+    router = make_router(make_server_record("i-1"), make_server_record("i-2"))
+    now = NOW_S
+    for header in headers:
         now += 0.1
-        decision = made.handle(head, now)
+        decision = router.handle(header, now)
         if isinstance(decision, Forward):
             assert decision.server.report.service == "entries"
-    for work in made.load.work.values():
-        assert work.busy >= 0
-        assert work.open >= 0
+    for local_load in router.load.local_loads.values():
+        assert local_load.active_requests >= 0
+        assert local_load.open_flows >= 0
 
 
 @pytest.mark.parametrize("weights", [(1, 0), (0, 1), (3, 1)])
-def test_a_route_shares_new_flows_by_weight(weights):
-    shares = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
-    route = Route("r", ROUTE, shares)
-    flows = [flow_of(caller, ROUTE) for caller in range(4000)]
-    found = [route.service_for(flow) for flow in flows]
-    expected = weights[0] / sum(weights)
-    assert abs(found.count("entries") / len(found) - expected) < 0.03
-
-
-def asking_router(*servers):
-    """Return a router at a VM that does not place ``entries``, and who does."""
-    made = router(*servers)
-    for peers in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
-        made.placers.set_peers(peers)
-        placer = made.placers.placer("entries", 0.0)
-        if placer != "e1":
-            return made, placer
-    raise AssertionError("no other VM places")
-
-
-def test_another_vm_is_asked_for_the_server_of_a_flow():
-    made, placer = asking_router(server("i-1"))
-    head = opening()
-    question = PlaceQuestion("e1", head.flow, "entries", (), False)
-    assert made.handle(head, SETTLED) == Ask(placer, question)
-
-
-def test_a_flow_opens_at_the_server_that_was_chosen_for_it():
-    first, second = server("i-1"), server("i-2")
-    made, placer = asking_router(first, second)
-    head = opening()
-    made.handle(head, SETTLED)
-    made.waiting.put(head, b"one", SETTLED)
+def test_route_distributes_new_flows_by_weight(weights):
+    weighted_services = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
+    route = Route("r", ROUTE_ADDRESS, weighted_services)
+    flow_keys = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
+    selected_services = [route.select_service(flow_key) for flow_key in flow_keys]
+    expected_share = weights[0] / sum(weights)
+    assert (
+        abs(
+            selected_services.count("entries") / len(selected_services) - expected_share
+        )
+        < 0.03
+    )
+
+
+def make_router_with_other_coordinator(*servers):
+    """Return a router and the other VM that places the flows of ``entries``."""
+    router = make_router(*servers)
+    for entry_vms in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
+        router.placers.set_peers(entry_vms)
+        coordinator = router.placers.placer("entries", 0.0)
+        if coordinator != "e1":
+            return router, coordinator
+    raise AssertionError("this VM is the placement coordinator in every zone")
+
+
+def test_syn_causes_a_placement_request_to_the_coordinator():
+    router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
+    header = make_syn()
+    request = PlaceQuestion("e1", header.flow, "entries", (), False)
+    assert router.handle(header, NOW_S) == Ask(coordinator, request)
+
+
+def test_flow_is_placed_on_the_server_in_the_placement_answer():
+    first, second = make_server_record("i-1"), make_server_record("i-2")
+    router, coordinator = make_router_with_other_coordinator(first, second)
+    header = make_syn()
+    router.handle(header, NOW_S)
+    router.waiting.put(header, b"one", NOW_S)
     for token in (first.token, second.token):
-        answer = PlaceAnswer(placer, head.flow, token, False, 9)
-        held = made.take_answer(answer, SETTLED)
-        assert made.place_as(held.head, answer, SETTLED).token == token
-    assert made.tellings[placer].grant == 9
-
-
-def test_a_chosen_server_that_is_not_known_or_leaves_is_not_taken():
-    leaving = server("i-2", number=2, phase=Phase.DRAINING)
-    other = server("i-3", service="pagesetter")
-    made, placer = asking_router(server("i-1"), leaving, other)
-    for token in (leaving.token, other.token, 77, 0):
-        answer = PlaceAnswer(placer, opening().flow, token, False, 1)
-        decision = made.place_as(opening(), answer, SETTLED)
-        assert decision.server == server("i-1")
-
-
-def test_an_opening_waits_while_every_server_is_full():
-    made, placer = asking_router(server("i-1"))
-    head = opening()
-    made.handle(head, SETTLED)
-    made.waiting.put(head, b"one", SETTLED)
-    full = PlaceAnswer(placer, head.flow, server("i-1").token, True, 0)
-    assert made.take_answer(full, SETTLED) is None
-    assert isinstance(made.handle(head, SETTLED + 0.05), Ask)
-
-
-def test_a_flow_is_placed_here_when_no_answer_comes():
-    made, placer = asking_router(server("i-1"))
-    made.handle(opening(), SETTLED)
-    assert made.handle(opening(), SETTLED + 0.02) == Wait("asked")
-    assert isinstance(made.handle(opening(), SETTLED + 0.05), Forward)
-    assert isinstance(made.handle(opening(2), SETTLED + 0.06), Forward)
-
-
-def test_a_flow_is_chosen_for_another_vm_by_all_work_in_the_zone():
-    first, second = server("i-1"), server("i-2")
-    made = router(first, second)
-    chosen = set()
+        answer = PlaceAnswer(coordinator, header.flow, token, False, 9)
+        packet = router.take_answer(answer, NOW_S)
+        assert router.place_as(packet.head, answer, NOW_S).token == token
+    assert router.outgoing_reports[coordinator].used_reservation == 9
+
+
+def test_unusable_server_in_a_placement_answer_is_replaced():
+    draining = make_server_record("i-2", number=2, phase=Phase.DRAINING)
+    other = make_server_record("i-3", service="pagesetter")
+    router, coordinator = make_router_with_other_coordinator(
+        make_server_record("i-1"), draining, other
+    )
+    for token in (draining.token, other.token, 77, 0):
+        answer = PlaceAnswer(coordinator, make_syn().flow, token, False, 1)
+        decision = router.place_as(make_syn(), answer, NOW_S)
+        assert decision.server == make_server_record("i-1")
+
+
+def test_syn_waits_after_an_answer_that_every_server_is_full():
+    router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
+    header = make_syn()
+    router.handle(header, NOW_S)
+    router.waiting.put(header, b"one", NOW_S)
+    full_answer = PlaceAnswer(
+        coordinator, header.flow, make_server_record("i-1").token, True, 0
+    )
+    assert router.take_answer(full_answer, NOW_S) is None
+    assert isinstance(router.handle(header, NOW_S + 0.05), Ask)
+
+
+def test_flow_is_placed_locally_after_a_placement_timeout():
+    router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
+    router.handle(make_syn(), NOW_S)
+    assert router.handle(make_syn(), NOW_S + 0.02) == Wait("asked")
+    assert isinstance(router.handle(make_syn(), NOW_S + 0.05), Forward)
+    assert isinstance(router.handle(make_syn(2), NOW_S + 0.06), Forward)
+
+
+def test_coordinator_counts_its_earlier_placements_for_other_vms():
+    first, second = make_server_record("i-1"), make_server_record("i-2")
+    router = make_router(first, second)
+    selected_tokens = set()
     for caller in range(2):
-        flow = flow_of(caller, ROUTE)
-        question = PlaceQuestion("e2", flow, "entries", (), False)
-        chosen.add(made.place_for(question, SETTLED).token)
-    assert chosen == {first.token, second.token}
-
-
-def test_no_server_is_named_where_there_is_none():
-    question = PlaceQuestion("e2", flow_of(1, ROUTE), "entries", (), False)
-    answer = router().place_for(question, SETTLED)
-    assert (answer.token, answer.grant) == (0, 0)
-
-
-def test_a_large_zone_tells_only_those_that_place():
-    made = router(server("i-1"))
-    made.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
-    made.handle(data(server("i-1").token), SETTLED)
-    told = [vm for vm, _ in made.tell(SETTLED)]
-    placer = made.placers.placer("entries", SETTLED)
-    assert told == [placer]
-    made.placers.set_peers(("e1", "e2", "e3"))
-    assert sorted(vm for vm, _ in made.tell(SETTLED + 1.0)) == ["e2", "e3"]
+        flow_key = make_flow_key(caller, ROUTE_ADDRESS)
+        request = PlaceQuestion("e2", flow_key, "entries", (), False)
+        selected_tokens.add(router.place_for(request, NOW_S).token)
+    assert selected_tokens == {first.token, second.token}
+
+
+def test_placement_answer_has_no_token_without_servers():
+    request = PlaceQuestion("e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False)
+    answer = make_router().place_for(request, NOW_S)
+    assert (answer.token, answer.reservation_number) == (0, 0)
+
+
+def test_load_is_reported_only_to_coordinators_in_a_large_zone():
+    router = make_router(make_server_record("i-1"))
+    router.placers.set_peers(tuple(f"e{number}" for number in range(1, 24)))
+    router.handle(make_data_packet(make_server_record("i-1").token), NOW_S)
+    receivers = [vm for vm, _ in router.tell(NOW_S)]
+    coordinator = router.placers.placer("entries", NOW_S)
+    assert receivers == [coordinator]
+    router.placers.set_peers(("e1", "e2", "e3"))
+    assert sorted(vm for vm, _ in router.tell(NOW_S + 1.0)) == ["e2", "e3"]
