--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -31,8 +31,8 @@
     Unknown,
     Work,
 )
-from kumquatmux_placement.memory import EndedWork
 from kumquatmux_placement.pool import Pool
+from kumquatmux_placement.recent_work import EndedWork
 from kumquatmux_placement.server_selection import Choice
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.waiting import Waiting
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -43,7 +43,7 @@
     Unknown,
     Work,
 )
-from kumquatmux_placement.memory import EndedWork
+from kumquatmux_placement.recent_work import EndedWork
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.waiting import WaitingLine
 
