--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -35,7 +35,7 @@
 from kumquatmux_placement.recent_work import EndedWork
 from kumquatmux_placement.server_selection import Choice
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.waiting import Waiting
+from kumquatmux_placement.wait_queue import Waiting
 
 
 class Admission:
--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -12,7 +12,7 @@
 from kumquatmux_placement.peak import RecentPeak
 from kumquatmux_placement.server_selection import Choice, choose, is_near
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.waiting import Waiting, WaitingLine
+from kumquatmux_placement.wait_queue import Waiting, WaitingLine
 
 
 class Pool:
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -45,7 +45,7 @@
 )
 from kumquatmux_placement.recent_work import EndedWork
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.waiting import WaitingLine
+from kumquatmux_placement.wait_queue import WaitingLine
 
 SERVICE = ServiceName("entries")
 NAMES = [ServerId(f"127.0.0.{number}:9000") for number in (1, 2, 3)]
