--- a/libs/placement/src/kumquatmux_placement/backend.py
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -13,7 +13,7 @@
     SlotDigest,
 )
 from kumquatmux_placement.history import SizeHistory
-from kumquatmux_placement.peak import RecentPeak
+from kumquatmux_placement.recent_peak import RecentPeak
 from kumquatmux_placement.settings import PlacementSettings
 
 MEAN_WEIGHT = 0.1
