--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -7,7 +7,6 @@
 
 from kumquatmux_core import decisions
 from kumquatmux_core.identity import ServerId, ServiceName
-from kumquatmux_placement.backend import Flow, ServerLoad
 from kumquatmux_placement.events import (
     Adopted,
     Answered,
@@ -33,6 +32,7 @@
 )
 from kumquatmux_placement.pool import Pool
 from kumquatmux_placement.recent_work import EndedWork
+from kumquatmux_placement.server_load import Flow, ServerLoad
 from kumquatmux_placement.server_selection import Choice
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import Waiting
--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -5,11 +5,11 @@
 import random
 
 from kumquatmux_core.identity import ServerId, ServiceName
-from kumquatmux_placement.backend import ServerLoad
 from kumquatmux_placement.budget import RetryBudget
 from kumquatmux_placement.events import Server, ServerState, SizeClass
 from kumquatmux_placement.history import SizeHistory
 from kumquatmux_placement.recent_peak import RecentPeak
+from kumquatmux_placement.server_load import ServerLoad
 from kumquatmux_placement.server_selection import Choice, choose, is_near
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import Waiting, WaitingLine
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -20,7 +20,6 @@
 from kumquatmux_core import decisions
 from kumquatmux_core.identity import ServerId, ServiceName, ZoneName
 from kumquatmux_placement.admission import Admission
-from kumquatmux_placement.backend import ServerLoad
 from kumquatmux_placement.events import (
     Adopted,
     Answered,
@@ -44,6 +43,7 @@
     Work,
 )
 from kumquatmux_placement.recent_work import EndedWork
+from kumquatmux_placement.server_load import ServerLoad
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import WaitingLine
 
