--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -12,8 +12,8 @@
     SizeClass,
     SlotDigest,
 )
-from kumquatmux_placement.history import SizeHistory
 from kumquatmux_placement.recent_peak import RecentPeak
+from kumquatmux_placement.run_time_history import SizeHistory
 from kumquatmux_placement.settings import PlacementSettings
 
 MEAN_WEIGHT = 0.1
