Rename budget to retry_budget

The module is named after the class it holds.

Rename: libs/placement/src/kumquatmux_placement/pool.py budget retry_budget

--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -5,9 +5,9 @@
 import random
 
 from kumquatmux_core.identity import ServerId, ServiceName
-from kumquatmux_placement.budget import RetryBudget
 from kumquatmux_placement.events import Server, ServerState, SizeClass
 from kumquatmux_placement.recent_peak import RecentPeak
+from kumquatmux_placement.retry_budget import RetryBudget
 from kumquatmux_placement.run_time_history import SizeHistory
 from kumquatmux_placement.server_load import ServerLoad
 from kumquatmux_placement.server_selection import Choice, choose, is_near
