--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -30,9 +30,9 @@
     Unknown,
     Work,
 )
-from kumquatmux_placement.pool import Pool
 from kumquatmux_placement.recent_work import EndedWork
 from kumquatmux_placement.server_load import Flow, ServerLoad
+from kumquatmux_placement.server_pool import Pool
 from kumquatmux_placement.server_selection import Choice
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import Waiting
