--- a/libs/placement/src/kumquatmux_placement/recent_peak.py
+++ b/libs/placement/src/kumquatmux_placement/recent_peak.py
@@ -13,8 +13,8 @@
         began: When the span that runs now began, in seconds.
     """
 
-    def __init__(self, span_s: float) -> None:
-        self.span_s = span_s
+    def __init__(self, window_s: float) -> None:
+        self.span_s = window_s
         self.current = 0
         self.previous = 0
         self.began = float("-inf")
