--- a/libs/placement/src/kumquatmux_placement/recent_peak.py
+++ b/libs/placement/src/kumquatmux_placement/recent_peak.py
@@ -14,15 +14,15 @@
     """
 
     def __init__(self, window_s: float) -> None:
-        self.span_s = window_s
+        self.window_s = window_s
         self.current = 0
         self.previous = 0
         self.began = float("-inf")
 
     def note(self, value: int, now: float) -> None:
         """Take in the value the count has now."""
-        if now - self.began >= self.span_s:
-            gap = now - self.began >= 2 * self.span_s
+        if now - self.began >= self.window_s:
+            gap = now - self.began >= 2 * self.window_s
             self.previous = 0 if gap else self.current
             self.current = 0
             self.began = now
