Rename current to current_peak

Names what the count is: the peak of the current window.

Rename: libs/placement/src/kumquatmux_placement/recent_peak.py current current_peak

--- a/libs/placement/src/kumquatmux_placement/recent_peak.py
+++ b/libs/placement/src/kumquatmux_placement/recent_peak.py
@@ -15,7 +15,7 @@
 
     def __init__(self, window_s: float) -> None:
         self.window_s = window_s
-        self.current = 0
+        self.current_peak = 0
         self.previous = 0
         self.began = float("-inf")
 
@@ -23,12 +23,12 @@
         """Take in the value the count has now."""
         if now - self.began >= self.window_s:
             gap = now - self.began >= 2 * self.window_s
-            self.previous = 0 if gap else self.current
-            self.current = 0
+            self.previous = 0 if gap else self.current_peak
+            self.current_peak = 0
             self.began = now
-        self.current = max(self.current, value)
+        self.current_peak = max(self.current_peak, value)
 
     def value(self, now: float) -> int:
         """Return the highest value of the recent past."""
         self.note(0, now)
-        return max(self.current, self.previous)
+        return max(self.current_peak, self.previous)
