--- a/libs/placement/src/kumquatmux_placement/recent_peak.py
+++ b/libs/placement/src/kumquatmux_placement/recent_peak.py
@@ -16,14 +16,14 @@
     def __init__(self, window_s: float) -> None:
         self.window_s = window_s
         self.current_peak = 0
-        self.previous = 0
+        self.previous_peak = 0
         self.began = float("-inf")
 
     def note(self, value: int, now: float) -> None:
         """Take in the value the count has now."""
         if now - self.began >= self.window_s:
             gap = now - self.began >= 2 * self.window_s
-            self.previous = 0 if gap else self.current_peak
+            self.previous_peak = 0 if gap else self.current_peak
             self.current_peak = 0
             self.began = now
         self.current_peak = max(self.current_peak, value)
@@ -31,4 +31,4 @@
     def value(self, now: float) -> int:
         """Return the highest value of the recent past."""
         self.note(0, now)
-        return max(self.current_peak, self.previous)
+        return max(self.current_peak, self.previous_peak)
