Rename began to window_start

The value is the start time of the current window.

Rename: libs/placement/src/kumquatmux_placement/recent_peak.py began window_start

--- a/libs/placement/src/kumquatmux_placement/recent_peak.py
+++ b/libs/placement/src/kumquatmux_placement/recent_peak.py
@@ -17,15 +17,15 @@
         self.window_s = window_s
         self.current_peak = 0
         self.previous_peak = 0
-        self.began = float("-inf")
+        self.window_start = float("-inf")
 
     def note(self, value: int, now: float) -> None:
         """Take in the value the count has now."""
-        if now - self.began >= self.window_s:
-            gap = now - self.began >= 2 * self.window_s
+        if now - self.window_start >= self.window_s:
+            gap = now - self.window_start >= 2 * self.window_s
             self.previous_peak = 0 if gap else self.current_peak
             self.current_peak = 0
-            self.began = now
+            self.window_start = now
         self.current_peak = max(self.current_peak, value)
 
     def value(self, now: float) -> int:
