Rename gap to skipped_window

True if at least one whole window passed without a sample.

Rename: libs/placement/src/kumquatmux_placement/recent_peak.py gap skipped_window

--- a/libs/placement/src/kumquatmux_placement/recent_peak.py
+++ b/libs/placement/src/kumquatmux_placement/recent_peak.py
@@ -22,8 +22,8 @@
     def note(self, value: int, now: float) -> None:
         """Take in the value the count has now."""
         if now - self.window_start >= self.window_s:
-            gap = now - self.window_start >= 2 * self.window_s
-            self.previous_peak = 0 if gap else self.current_peak
+            skipped_window = now - self.window_start >= 2 * self.window_s
+            self.previous_peak = 0 if skipped_window else self.current_peak
             self.current_peak = 0
             self.window_start = now
         self.current_peak = max(self.current_peak, value)
