Rename note to record

Recording a sample is the usual term.

Rename: libs/placement/src/kumquatmux_placement/recent_peak.py note record

--- a/libs/placement/src/kumquatmux_placement/recent_peak.py
+++ b/libs/placement/src/kumquatmux_placement/recent_peak.py
@@ -19,7 +19,7 @@
         self.previous_peak = 0
         self.window_start = float("-inf")
 
-    def note(self, value: int, now: float) -> None:
+    def record(self, value: int, now: float) -> None:
         """Take in the value the count has now."""
         if now - self.window_start >= self.window_s:
             skipped_window = now - self.window_start >= 2 * self.window_s
@@ -30,5 +30,5 @@
 
     def value(self, now: float) -> int:
         """Return the highest value of the recent past."""
-        self.note(0, now)
+        self.record(0, now)
         return max(self.current_peak, self.previous_peak)
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -97,14 +97,14 @@
         """Give a slot to placed work."""
         flow.since = now
         self.reserved[work_id] = flow
-        self.peak.note(self.taken, now)
+        self.peak.record(self.taken, now)
 
     def start(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to work that starts, beyond the server's slots if need be."""
         self.reserved.pop(work_id, None)
         flow.since = now
         self.running[work_id] = flow
-        self.peak.note(self.taken, now)
+        self.peak.record(self.taken, now)
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server announced itself not long ago."""
