--- a/libs/placement/src/kumquatmux_placement/recent_peak.py
+++ b/libs/placement/src/kumquatmux_placement/recent_peak.py
@@ -28,7 +28,7 @@
             self.window_start = now
         self.current_peak = max(self.current_peak, value)
 
-    def value(self, now: float) -> int:
+    def peak(self, now: float) -> int:
         """Return the highest value of the recent past."""
         self.record(0, now)
         return max(self.current_peak, self.previous_peak)
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -176,7 +176,7 @@
     def hear(self, report: LoadReported, now: float) -> None:
         """Trust the server less while it says that it is busier than counted."""
         fresh_s = self.settings.report_fresh_ms / 1000.0 - report.age
-        if report.busy > max(self.taken, self.peak.value(now)):
+        if report.busy > max(self.taken, self.peak.peak(now)):
             self.suspected_until = now + fresh_s
 
     def digest(self, now: float) -> SlotDigest:
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -94,7 +94,7 @@
         slots = sum(load.server.slots for load in ready)
         largest = max((load.server.slots for load in ready), default=0)
         long = sum(load.long(now) for load in self.loads.values())
-        clear = min(largest * self.settings.clear_servers, self.short_peak.value(now))
+        clear = min(largest * self.settings.clear_servers, self.short_peak.peak(now))
         return long < max(slots - clear, 1)
 
     def may_spill(self, since: float, now: float) -> bool:
