--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -249,7 +249,7 @@
         size = pool.history.expect(work)
         retry = work.attempt > 0 or self.refused.holds(work.work_id, self.now)
         if not retry:
-            pool.budget.earn()
+            pool.budget.record_first_attempt()
         if not self.is_behind(size, pool):
             choice = pool.choose(size, self.now, self.now)
             if choice is not None:
--- a/libs/placement/src/kumquatmux_placement/retry_budget.py
+++ b/libs/placement/src/kumquatmux_placement/retry_budget.py
@@ -12,7 +12,7 @@
         self.settings = settings
         self.tokens = float(settings.retry_burst)
 
-    def earn(self) -> None:
+    def record_first_attempt(self) -> None:
         """Count one first attempt."""
         self.tokens = min(
             self.tokens + self.settings.retry_ratio,
