Rename spend to try_take_token

Says that a token is taken if there is one.

Rename: libs/placement/src/kumquatmux_placement/retry_budget.py spend try_take_token

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -275,7 +275,7 @@
         hold_s = pool.line.hold_s(self.now)
         if pool.expected_wait(self.now) > min(hold_s, work.deadline - self.now):
             return "wait-too-long"
-        if retry and not pool.budget.spend():
+        if retry and not pool.budget.try_take_token():
             return "retry-budget"
         return ""
 
--- a/libs/placement/src/kumquatmux_placement/retry_budget.py
+++ b/libs/placement/src/kumquatmux_placement/retry_budget.py
@@ -19,7 +19,7 @@
             float(self.settings.retry_burst),
         )
 
-    def spend(self) -> bool:
+    def try_take_token(self) -> bool:
         """Take a token for one retry; return whether there was one."""
         if self.tokens < 1.0:
             return False
