--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -30,7 +30,7 @@
     Unknown,
     Work,
 )
-from kumquatmux_placement.recent_work import EndedWork
+from kumquatmux_placement.recent_work import RecentWorkIds
 from kumquatmux_placement.server_load import Flow, ServerLoad
 from kumquatmux_placement.server_pool import Pool
 from kumquatmux_placement.server_selection import Choice
@@ -56,8 +56,8 @@
         self.pools: dict[ServiceName, Pool] = {}
         self.flows: dict[bytes, Flow] = {}
         self.servers: dict[ServerId, ServerLoad] = {}
-        self.refused = EndedWork(settings)
-        self.lost = EndedWork(settings)
+        self.refused = RecentWorkIds(settings)
+        self.lost = RecentWorkIds(settings)
         self.now = float("-inf")
 
     def handle(self, event: Event, now: float) -> list[Outcome]:
--- a/libs/placement/src/kumquatmux_placement/recent_work.py
+++ b/libs/placement/src/kumquatmux_placement/recent_work.py
@@ -7,7 +7,7 @@
 from kumquatmux_placement.settings import PlacementSettings
 
 
-class EndedWork:
+class RecentWorkIds:
     """Remembers ended work against repeats, oldest first.
 
     Attributes:
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -42,7 +42,7 @@
     Unknown,
     Work,
 )
-from kumquatmux_placement.recent_work import EndedWork
+from kumquatmux_placement.recent_work import RecentWorkIds
 from kumquatmux_placement.server_load import ServerLoad
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import WaitingLine
@@ -246,14 +246,14 @@
 
 
 def _forgets_lost(monkeypatch):
-    monkeypatch.setattr(EndedWork, "holds", lambda ended, work_id, now: False)
+    monkeypatch.setattr(RecentWorkIds, "holds", lambda ended, work_id, now: False)
 
 
 def _remembers_all(monkeypatch):
     def add(ended, work_id, now):
         ended.ended[work_id] = now
 
-    monkeypatch.setattr(EndedWork, "add", add)
+    monkeypatch.setattr(RecentWorkIds, "add", add)
 
 
 @pytest.mark.parametrize(
