Rename ended to ended_at

Maps work ids to the time at which the work ended.

Rename: libs/placement/src/kumquatmux_placement/recent_work.py ended ended_at

--- a/libs/placement/src/kumquatmux_placement/recent_work.py
+++ b/libs/placement/src/kumquatmux_placement/recent_work.py
@@ -16,23 +16,23 @@
 
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
-        self.ended: OrderedDict[bytes, float] = OrderedDict()
+        self.ended_at: OrderedDict[bytes, float] = OrderedDict()
 
     def add(self, work_id: bytes, now: float) -> None:
         """Remember work from now on, and forget the oldest if there is too much."""
-        self.ended.pop(work_id, None)
-        self.ended[work_id] = now
+        self.ended_at.pop(work_id, None)
+        self.ended_at[work_id] = now
         self.expire(now)
-        if len(self.ended) > self.settings.remembered_work:
-            self.ended.popitem(last=False)
+        if len(self.ended_at) > self.settings.remembered_work:
+            self.ended_at.popitem(last=False)
 
     def holds(self, work_id: bytes, now: float) -> bool:
         """Return whether work is remembered."""
         self.expire(now)
-        return work_id in self.ended
+        return work_id in self.ended_at
 
     def expire(self, now: float) -> None:
         """Forget work that ended too long ago."""
         before = now - self.settings.forget_ms / 1000.0
-        while self.ended and next(iter(self.ended.values())) <= before:
-            self.ended.popitem(last=False)
+        while self.ended_at and next(iter(self.ended_at.values())) <= before:
+            self.ended_at.popitem(last=False)
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -212,8 +212,8 @@
         assert len(pool.line) == len(self.pending) <= SETTINGS.queue_limit
         assert len(pool.line.deadlines) <= 2 * len(pool.line) + 17
         assert len(pool.history.shares) <= SETTINGS.history_callers
-        assert len(self.made.lost.ended) <= SETTINGS.remembered_work
-        assert len(self.made.refused.ended) <= SETTINGS.remembered_work
+        assert len(self.made.lost.ended_at) <= SETTINGS.remembered_work
+        assert len(self.made.refused.ended_at) <= SETTINGS.remembered_work
         connections = sum(load.connections for load in self.made.servers.values())
         assert connections <= len(self.open)
 
@@ -251,7 +251,7 @@
 
 def _remembers_all(monkeypatch):
     def add(ended, work_id, now):
-        ended.ended[work_id] = now
+        ended.ended_at[work_id] = now
 
     monkeypatch.setattr(RecentWorkIds, "add", add)
 
