--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -240,14 +240,14 @@
         waiting = pool.line.get(work.work_id)
         if waiting is not None:
             return [Held(work.work_id, work.service, waiting.until)]
-        if not work.repeatable and self.lost.holds(work.work_id, self.now):
+        if not work.repeatable and self.lost.contains(work.work_id, self.now):
             return [Unknown(work.work_id, work.service, ServerId(""))]
         return None
 
     def admit(self, work: Work, pool: Pool) -> Outcome:
         """Place, hold or refuse new work."""
         size = pool.history.expect(work)
-        retry = work.attempt > 0 or self.refused.holds(work.work_id, self.now)
+        retry = work.attempt > 0 or self.refused.contains(work.work_id, self.now)
         if not retry:
             pool.budget.record_first_attempt()
         if not self.is_behind(size, pool):
--- a/libs/placement/src/kumquatmux_placement/recent_work.py
+++ b/libs/placement/src/kumquatmux_placement/recent_work.py
@@ -26,7 +26,7 @@
         if len(self.ended_at) > self.settings.remembered_work:
             self.ended_at.popitem(last=False)
 
-    def holds(self, work_id: bytes, now: float) -> bool:
+    def contains(self, work_id: bytes, now: float) -> bool:
         """Return whether work is remembered."""
         self.expire(now)
         return work_id in self.ended_at
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -246,7 +246,7 @@
 
 
 def _forgets_lost(monkeypatch):
-    monkeypatch.setattr(RecentWorkIds, "holds", lambda ended, work_id, now: False)
+    monkeypatch.setattr(RecentWorkIds, "contains", lambda ended, work_id, now: False)
 
 
 def _remembers_all(monkeypatch):
