--- a/libs/placement/src/kumquatmux_placement/recent_work.py
+++ b/libs/placement/src/kumquatmux_placement/recent_work.py
@@ -22,16 +22,16 @@
         """Remember work from now on, and forget the oldest if there is too much."""
         self.ended_at.pop(work_id, None)
         self.ended_at[work_id] = now
-        self.expire(now)
+        self.evict_expired(now)
         if len(self.ended_at) > self.settings.remembered_work:
             self.ended_at.popitem(last=False)
 
     def contains(self, work_id: bytes, now: float) -> bool:
         """Return whether work is remembered."""
-        self.expire(now)
+        self.evict_expired(now)
         return work_id in self.ended_at
 
-    def expire(self, now: float) -> None:
+    def evict_expired(self, now: float) -> None:
         """Forget work that ended too long ago."""
         before = now - self.settings.forget_ms / 1000.0
         while self.ended_at and next(iter(self.ended_at.values())) <= before:
