--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -11,7 +11,7 @@
 LONG_SHARE = 0.5
 
 
-class SizeHistory:
+class RunTimeHistory:
     """Share of long work by caller, for one service, in bounded memory.
 
     Attributes:
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -13,7 +13,7 @@
     SlotDigest,
 )
 from kumquatmux_placement.recent_peak import RecentPeak
-from kumquatmux_placement.run_time_history import SizeHistory
+from kumquatmux_placement.run_time_history import RunTimeHistory
 from kumquatmux_placement.settings import PlacementSettings
 
 MEAN_WEIGHT = 0.1
@@ -65,7 +65,7 @@
         settings: PlacementSettings,
         service: ServiceName,
         server: Server,
-        history: SizeHistory,
+        history: RunTimeHistory,
     ) -> None:
         self.settings = settings
         self.server = server
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -8,7 +8,7 @@
 from kumquatmux_placement.events import Server, ServerState, SizeClass
 from kumquatmux_placement.recent_peak import RecentPeak
 from kumquatmux_placement.retry_budget import RetryBudget
-from kumquatmux_placement.run_time_history import SizeHistory
+from kumquatmux_placement.run_time_history import RunTimeHistory
 from kumquatmux_placement.server_load import ServerLoad
 from kumquatmux_placement.server_selection import Choice, choose, is_near
 from kumquatmux_placement.settings import PlacementSettings
@@ -35,7 +35,7 @@
         self.random = random
         self.loads: dict[ServerId, ServerLoad] = {}
         self.line = WaitingLine(settings)
-        self.history = SizeHistory(settings)
+        self.history = RunTimeHistory(settings)
         self.budget = RetryBudget(settings)
         self.short_peak = RecentPeak(settings.clear_memory_ms / 1000.0)
 
