Rename OLD_SHARE to PREVIOUS_SHARE_WEIGHT

The constant is the weight of the previous average.

Rename: libs/placement/src/kumquatmux_placement/run_time_history.py OLD_SHARE PREVIOUS_SHARE_WEIGHT

--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -7,7 +7,7 @@
 from kumquatmux_placement.events import SizeClass, Work
 from kumquatmux_placement.settings import PlacementSettings
 
-OLD_SHARE = 0.7
+PREVIOUS_SHARE_WEIGHT = 0.7
 LONG_SHARE = 0.5
 
 
@@ -41,6 +41,8 @@
         if not caller:
             return
         before = self.shares.pop(caller, float(long))
-        self.shares[caller] = before * OLD_SHARE + float(long) * (1.0 - OLD_SHARE)
+        self.shares[caller] = before * PREVIOUS_SHARE_WEIGHT + float(long) * (
+            1.0 - PREVIOUS_SHARE_WEIGHT
+        )
         if len(self.shares) > self.settings.history_callers:
             self.shares.popitem(last=False)
