Rename LONG_SHARE to LONG_SHARE_THRESHOLD

The constant is a threshold on the share of long work.

Rename: libs/placement/src/kumquatmux_placement/run_time_history.py LONG_SHARE LONG_SHARE_THRESHOLD

--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -8,7 +8,7 @@
 from kumquatmux_placement.settings import PlacementSettings
 
 PREVIOUS_SHARE_WEIGHT = 0.7
-LONG_SHARE = 0.5
+LONG_SHARE_THRESHOLD = 0.5
 
 
 class RunTimeHistory:
@@ -31,7 +31,7 @@
         share = self.shares.get(work.caller)
         if share is None:
             return SizeClass.UNKNOWN
-        return SizeClass.LONG if share >= LONG_SHARE else SizeClass.SHORT
+        return SizeClass.LONG if share >= LONG_SHARE_THRESHOLD else SizeClass.SHORT
 
     def learn(self, caller: str, run_s: float) -> None:
         """Take in one finished piece of work that ran for ``run_s`` seconds."""
