Rename shares to long_share_by_caller

Says what the share is of and what the key is.

Rename: libs/placement/src/kumquatmux_placement/run_time_history.py shares long_share_by_caller

--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -21,14 +21,14 @@
 
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
-        self.shares: OrderedDict[str, float] = OrderedDict()
+        self.long_share_by_caller: OrderedDict[str, float] = OrderedDict()
         self.mean_s = 0.0
 
     def expect(self, work: Work) -> SizeClass:
         """Return the size the work names, or the one its caller's history shows."""
         if work.size is not SizeClass.UNKNOWN:
             return work.size
-        share = self.shares.get(work.caller)
+        share = self.long_share_by_caller.get(work.caller)
         if share is None:
             return SizeClass.UNKNOWN
         return SizeClass.LONG if share >= LONG_SHARE_THRESHOLD else SizeClass.SHORT
@@ -40,9 +40,9 @@
             self.mean_s += (run_s - self.mean_s) * (0.1 if self.mean_s else 1.0)
         if not caller:
             return
-        before = self.shares.pop(caller, float(long))
-        self.shares[caller] = before * PREVIOUS_SHARE_WEIGHT + float(long) * (
-            1.0 - PREVIOUS_SHARE_WEIGHT
-        )
-        if len(self.shares) > self.settings.history_callers:
-            self.shares.popitem(last=False)
+        before = self.long_share_by_caller.pop(caller, float(long))
+        self.long_share_by_caller[caller] = before * PREVIOUS_SHARE_WEIGHT + float(
+            long
+        ) * (1.0 - PREVIOUS_SHARE_WEIGHT)
+        if len(self.long_share_by_caller) > self.settings.history_callers:
+            self.long_share_by_caller.popitem(last=False)
