--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -22,7 +22,7 @@
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
         self.long_share_by_caller: OrderedDict[str, float] = OrderedDict()
-        self.mean_s = 0.0
+        self.mean_short_run_s = 0.0
 
     def expect(self, work: Work) -> SizeClass:
         """Return the size the work names, or the one its caller's history shows."""
@@ -37,7 +37,9 @@
         """Take in one finished piece of work that ran for ``run_s`` seconds."""
         long = run_s * 1000.0 >= self.settings.long_ms
         if not long:
-            self.mean_s += (run_s - self.mean_s) * (0.1 if self.mean_s else 1.0)
+            self.mean_short_run_s += (run_s - self.mean_short_run_s) * (
+                0.1 if self.mean_short_run_s else 1.0
+            )
         if not caller:
             return
         before = self.long_share_by_caller.pop(caller, float(long))
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -143,10 +143,13 @@
     def ahead_span_s(self) -> tuple[float, float]:
         """Return from and up to which age work is expected to end, in seconds."""
         near = not self.settings.zone or self.server.zone == self.settings.zone
-        if near or not self.settings.bind_ahead or not self.history.mean_s:
+        if near or not self.settings.bind_ahead or not self.history.mean_short_run_s:
             return 0.0, 0.0
         link_s = self.settings.link_cost_ms / 1000.0
-        return self.history.mean_s - link_s, self.history.mean_s + link_s
+        return (
+            self.history.mean_short_run_s - link_s,
+            self.history.mean_short_run_s + link_s,
+        )
 
     def long(self, now: float) -> int:
         """Return the slots in use by work known or found to be long."""
@@ -164,7 +167,7 @@
 
     def is_slow(self) -> bool:
         """Return whether its short work runs much longer than the service's."""
-        return self.mean_s > self.history.mean_s * self.settings.slow_factor
+        return self.mean_s > self.history.mean_short_run_s * self.settings.slow_factor
 
     def shed(self, now: float) -> None:
         """Pause placing, longer with each shed work in a row."""
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -109,13 +109,13 @@
         )
         if slots == 0:
             return True
-        return (len(self.line) + 1) * self.history.mean_s / slots > link_s
+        return (len(self.line) + 1) * self.history.mean_short_run_s / slots > link_s
 
     def expected_wait(self, now: float) -> float:
         """Return how long work that is held from now on will wait, in seconds."""
         open_loads = [load for load in self.loads.values() if load.is_open(now)]
         slots = sum(load.server.slots - load.long(now) for load in open_loads)
-        return len(self.line) * self.history.mean_s / max(slots, 1)
+        return len(self.line) * self.history.mean_short_run_s / max(slots, 1)
 
     def next_to_place(self, now: float) -> tuple[Waiting, Choice] | None:
         """Return the held work that can be placed now and its server."""
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -118,7 +118,7 @@
     slow = made.servers[server(1).server]
     for name in made.servers.values():
         name.mean_s = 0.02
-    made.pools[SERVICE].history.mean_s = 0.02
+    made.pools[SERVICE].history.mean_short_run_s = 0.02
     slow.mean_s = 0.04
     servers = [
         made.handle(Submit(work(bytes([number]))), 0.0)[0].server for number in range(3)
@@ -269,7 +269,7 @@
 def test_only_a_far_slot_about_to_be_answered_is_given_again(bind_ahead, age_s, placed):
     far = server(2, zone=ZoneName("lpg-a"))
     made = admission(far, bind_ahead=bind_ahead, **ZONED)
-    made.pools[SERVICE].history.mean_s = 0.02
+    made.pools[SERVICE].history.mean_short_run_s = 0.02
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Started(b"a", far.server), 0.0)
     [outcome] = made.handle(Submit(work(b"b")), age_s)
