Rename expect to expected_class

Returns the expected run-time class.

Rename: libs/placement/src/kumquatmux_placement/run_time_history.py expect expected_class

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -246,7 +246,7 @@
 
     def admit(self, work: Work, pool: Pool) -> Outcome:
         """Place, hold or refuse new work."""
-        size = pool.history.expect(work)
+        size = pool.history.expected_class(work)
         retry = work.attempt > 0 or self.refused.contains(work.work_id, self.now)
         if not retry:
             pool.budget.record_first_attempt()
--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -24,7 +24,7 @@
         self.long_share_by_caller: OrderedDict[str, float] = OrderedDict()
         self.mean_short_run_s = 0.0
 
-    def expect(self, work: Work) -> SizeClass:
+    def expected_class(self, work: Work) -> SizeClass:
         """Return the size the work names, or the one its caller's history shows."""
         if work.size is not SizeClass.UNKNOWN:
             return work.size
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -195,8 +195,8 @@
     made.handle(Started(b"a", placed.server), 0.0)
     made.handle(Answered(b"a", placed.server), 0.9)
     history = made.pools[SERVICE].history
-    assert history.expect(work(b"b", caller="printer")) is SizeClass.LONG
-    assert history.expect(work(b"c", caller="other")) is SizeClass.UNKNOWN
+    assert history.expected_class(work(b"b", caller="printer")) is SizeClass.LONG
+    assert history.expected_class(work(b"c", caller="other")) is SizeClass.UNKNOWN
 
 
 def test_feeds_hold_a_connection_and_no_slot():
