Rename learn to record_run_time

Says what is recorded.

Rename: libs/placement/src/kumquatmux_placement/run_time_history.py learn record_run_time

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -342,7 +342,7 @@
         if answered:
             load.backoff_s = 0.0
             load.learn(run_s)
-            self.pool(load.service).history.learn(flow.caller, run_s)
+            self.pool(load.service).history.record_run_time(flow.caller, run_s)
 
     def forget(self, work_id: bytes, flow: Flow) -> None:
         """Stop counting the connection of some work."""
--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -33,7 +33,7 @@
             return SizeClass.UNKNOWN
         return SizeClass.LONG if share >= LONG_SHARE_THRESHOLD else SizeClass.SHORT
 
-    def learn(self, caller: str, run_s: float) -> None:
+    def record_run_time(self, caller: str, run_s: float) -> None:
         """Take in one finished piece of work that ran for ``run_s`` seconds."""
         long = run_s * 1000.0 >= self.settings.long_ms
         if not long:
