--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -35,16 +35,16 @@
 
     def record_run_time(self, caller: str, run_s: float) -> None:
         """Take in one finished piece of work that ran for ``run_s`` seconds."""
-        long = run_s * 1000.0 >= self.settings.long_ms
-        if not long:
+        is_long = run_s * 1000.0 >= self.settings.long_ms
+        if not is_long:
             self.mean_short_run_s += (run_s - self.mean_short_run_s) * (
                 0.1 if self.mean_short_run_s else 1.0
             )
         if not caller:
             return
-        before = self.long_share_by_caller.pop(caller, float(long))
+        before = self.long_share_by_caller.pop(caller, float(is_long))
         self.long_share_by_caller[caller] = before * PREVIOUS_SHARE_WEIGHT + float(
-            long
+            is_long
         ) * (1.0 - PREVIOUS_SHARE_WEIGHT)
         if len(self.long_share_by_caller) > self.settings.history_callers:
             self.long_share_by_caller.popitem(last=False)
