Rename before to previous_share

Says what the earlier value is.

Rename: libs/placement/src/kumquatmux_placement/run_time_history.py before previous_share

--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -42,9 +42,10 @@
             )
         if not caller:
             return
-        before = self.long_share_by_caller.pop(caller, float(is_long))
-        self.long_share_by_caller[caller] = before * PREVIOUS_SHARE_WEIGHT + float(
-            is_long
-        ) * (1.0 - PREVIOUS_SHARE_WEIGHT)
+        previous_share = self.long_share_by_caller.pop(caller, float(is_long))
+        self.long_share_by_caller[caller] = (
+            previous_share * PREVIOUS_SHARE_WEIGHT
+            + float(is_long) * (1.0 - PREVIOUS_SHARE_WEIGHT)
+        )
         if len(self.long_share_by_caller) > self.settings.history_callers:
             self.long_share_by_caller.popitem(last=False)
