--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -16,7 +16,7 @@
 from kumquatmux_placement.run_time_history import RunTimeHistory
 from kumquatmux_placement.settings import PlacementSettings
 
-MEAN_WEIGHT = 0.1
+RUN_TIME_SAMPLE_WEIGHT = 0.1
 
 
 class Flow:
@@ -163,7 +163,9 @@
     def learn(self, run_s: float) -> None:
         """Take in the run time of answered work, in seconds."""
         if run_s * 1000.0 < self.settings.long_ms:
-            self.mean_s += (run_s - self.mean_s) * (MEAN_WEIGHT if self.mean_s else 1.0)
+            self.mean_s += (run_s - self.mean_s) * (
+                RUN_TIME_SAMPLE_WEIGHT if self.mean_s else 1.0
+            )
 
     def is_slow(self) -> bool:
         """Return whether its short work runs much longer than the service's."""
