Rename mean_s to mean_short_run_s

Says which mean it is: the run time of short work.

Rename: libs/placement/src/kumquatmux_placement/server_load.py mean_s mean_short_run_s

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -75,7 +75,7 @@
         self.running: dict[bytes, Flow] = {}
         self.assumed: list[float] = []
         self.connections = 0
-        self.mean_s = 0.0
+        self.mean_short_run_s = 0.0
         self.peak = RecentPeak(settings.report_fresh_ms / 1000.0)
         self.blocked_until = float("-inf")
         self.backoff_s = 0.0
@@ -163,13 +163,16 @@
     def learn(self, run_s: float) -> None:
         """Take in the run time of answered work, in seconds."""
         if run_s * 1000.0 < self.settings.long_ms:
-            self.mean_s += (run_s - self.mean_s) * (
-                RUN_TIME_SAMPLE_WEIGHT if self.mean_s else 1.0
+            self.mean_short_run_s += (run_s - self.mean_short_run_s) * (
+                RUN_TIME_SAMPLE_WEIGHT if self.mean_short_run_s else 1.0
             )
 
     def is_slow(self) -> bool:
         """Return whether its short work runs much longer than the service's."""
-        return self.mean_s > self.history.mean_short_run_s * self.settings.slow_factor
+        return (
+            self.mean_short_run_s
+            > self.history.mean_short_run_s * self.settings.slow_factor
+        )
 
     def shed(self, now: float) -> None:
         """Pause placing, longer with each shed work in a row."""
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -117,9 +117,9 @@
     made = admission(server(1), server(2), server(3))
     slow = made.servers[server(1).server]
     for name in made.servers.values():
-        name.mean_s = 0.02
+        name.mean_short_run_s = 0.02
     made.pools[SERVICE].history.mean_short_run_s = 0.02
-    slow.mean_s = 0.04
+    slow.mean_short_run_s = 0.04
     servers = [
         made.handle(Submit(work(bytes([number]))), 0.0)[0].server for number in range(3)
     ]
