--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -118,7 +118,7 @@
         """
         self.now = max(now, self.now)
         for work_id, flow in list(self.flows.items()):
-            if flow.load.service == service:
+            if flow.server_load.service == service:
                 self.finish(work_id, flow, answered=False)
                 self.forget(work_id, flow)
 
@@ -147,9 +147,9 @@
     @on.register
     def _(self, event: Started) -> list[Outcome]:
         flow = self.flow_on(event.work_id, event.server)
-        if flow is None or event.work_id in flow.load.running:
+        if flow is None or event.work_id in flow.server_load.running:
             return []
-        flow.load.start(event.work_id, flow, self.now)
+        flow.server_load.start(event.work_id, flow, self.now)
         return []
 
     @on.register
@@ -158,16 +158,16 @@
         if flow is None:
             return []
         self.finish(event.work_id, flow, answered=True)
-        return self.drain(self.pool(flow.load.service))
+        return self.drain(self.pool(flow.server_load.service))
 
     @on.register
     def _(self, event: Closed) -> list[Outcome]:
         flow = self.flows.get(event.work_id)
-        if flow is None or flow.load.server.server != event.server:
+        if flow is None or flow.server_load.server.server != event.server:
             return []
         self.finish(event.work_id, flow, answered=False)
         self.forget(event.work_id, flow)
-        return self.drain(self.pool(flow.load.service))
+        return self.drain(self.pool(flow.server_load.service))
 
     @on.register
     def _(self, event: Adopted) -> list[Outcome]:
@@ -180,9 +180,9 @@
     @on.register
     def _(self, event: Shed) -> list[Outcome]:
         flow = self.flows.get(event.work_id)
-        if flow is None or flow.load.server.server != event.server:
+        if flow is None or flow.server_load.server.server != event.server:
             return []
-        flow.load.shed(self.now)
+        flow.server_load.shed(self.now)
         return self.lose(event.work_id, flow)
 
     @on.register
@@ -232,7 +232,7 @@
         """Return the outcome of work that was submitted before, if it was."""
         flow = self.flows.get(work.work_id)
         if flow is not None:
-            server = flow.load.server.server
+            server = flow.server_load.server.server
             placed = Placed(
                 work.work_id, work.service, server, "already-placed", 1, 0.0
             )
@@ -318,13 +318,13 @@
     def bind(self, work_id: bytes, flow: Flow) -> None:
         """Count the connection of placed work."""
         self.flows[work_id] = flow
-        flow.load.connections += 1
+        flow.server_load.connections += 1
 
     def flow_on(self, work_id: bytes, server: ServerId) -> Flow | None:
         """Return the flow of some work, adopted if it was not known."""
         flow = self.flows.get(work_id)
         if flow is not None:
-            return flow if flow.load.server.server == server else None
+            return flow if flow.server_load.server.server == server else None
         load = self.servers.get(server)
         if load is None:
             return None
@@ -334,7 +334,7 @@
 
     def finish(self, work_id: bytes, flow: Flow, *, answered: bool) -> None:
         """Free the slot of some work and learn from its run time."""
-        load = flow.load
+        load = flow.server_load
         load.reserved.pop(work_id, None)
         if load.running.pop(work_id, None) is None:
             return
@@ -347,8 +347,8 @@
     def forget(self, work_id: bytes, flow: Flow) -> None:
         """Stop counting the connection of some work."""
         del self.flows[work_id]
-        flow.load.connections -= 1
-        self.pool(flow.load.service).tidy(flow.load)
+        flow.server_load.connections -= 1
+        self.pool(flow.server_load.service).tidy(flow.server_load)
 
     def lose(self, work_id: bytes, flow: Flow) -> list[Outcome]:
         """End placed work whose fate is not known."""
@@ -356,8 +356,10 @@
         self.forget(work_id, flow)
         if not flow.repeatable:
             self.lost.add(work_id, self.now)
-        unknown = Unknown(work_id, flow.load.service, flow.load.server.server)
-        return [unknown, *self.drain(self.pool(flow.load.service))]
+        unknown = Unknown(
+            work_id, flow.server_load.service, flow.server_load.server.server
+        )
+        return [unknown, *self.drain(self.pool(flow.server_load.service))]
 
     def log(self, outcome: Outcome) -> None:
         """Write the decision line of one outcome."""
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -30,12 +30,12 @@
         since: When it took its slot, in seconds.
     """
 
-    __slots__ = ("load", "caller", "size", "repeatable", "since")
+    __slots__ = ("server_load", "caller", "size", "repeatable", "since")
 
     def __init__(
         self, load: ServerLoad, caller: str, size: SizeClass, repeatable: bool
     ) -> None:
-        self.load = load
+        self.server_load = load
         self.caller = caller
         self.size = size
         self.repeatable = repeatable
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -179,7 +179,7 @@
     for name in (b"x", b"y"):
         [placed] = made.handle(Submit(work(name)), 0.0)
     for name, flow in list(made.flows.items()):
-        made.handle(Closed(name, flow.load.server.server), 0.0)
+        made.handle(Closed(name, flow.server_load.server.server), 0.0)
     outcomes = [
         made.handle(Submit(work(bytes([number]), size=SizeClass.LONG)), 0.0)[0]
         for number in range(3)
