--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -338,7 +338,7 @@
         load.reserved.pop(work_id, None)
         if load.running.pop(work_id, None) is None:
             return
-        run_s = self.now - flow.since
+        run_s = self.now - flow.slot_taken_at
         if answered:
             load.backoff_s = 0.0
             load.learn(run_s)
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -30,7 +30,7 @@
         since: When it took its slot, in seconds.
     """
 
-    __slots__ = ("server_load", "caller", "size", "repeatable", "since")
+    __slots__ = ("server_load", "caller", "size", "repeatable", "slot_taken_at")
 
     def __init__(
         self, load: ServerLoad, caller: str, size: SizeClass, repeatable: bool
@@ -39,7 +39,7 @@
         self.caller = caller
         self.size = size
         self.repeatable = repeatable
-        self.since = 0.0
+        self.slot_taken_at = 0.0
 
 
 class ServerLoad:
@@ -95,14 +95,14 @@
 
     def reserve(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to placed work."""
-        flow.since = now
+        flow.slot_taken_at = now
         self.reserved[work_id] = flow
         self.peak.record(self.taken, now)
 
     def start(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to work that starts, beyond the server's slots if need be."""
         self.reserved.pop(work_id, None)
-        flow.since = now
+        flow.slot_taken_at = now
         self.running[work_id] = flow
         self.peak.record(self.taken, now)
 
@@ -135,7 +135,7 @@
             return 0
         over = max(self.taken - self.server.slots, 0)
         ending = sum(
-            flow.since + start_s <= now <= flow.since + end_s
+            flow.slot_taken_at + start_s <= now <= flow.slot_taken_at + end_s
             for flow in self.running.values()
         )
         return max(ending - over, 0)
@@ -156,7 +156,7 @@
         aged_since = now - self.settings.long_ms / 1000.0
         known = sum(flow.size is SizeClass.LONG for flow in self.reserved.values())
         return known + sum(
-            flow.size is SizeClass.LONG or flow.since <= aged_since
+            flow.size is SizeClass.LONG or flow.slot_taken_at <= aged_since
             for flow in self.running.values()
         )
 
@@ -208,14 +208,14 @@
         times += _ends(self.running.values(), self.settings.stuck_ms)
         start_s, end_s = self.ahead_span_s()
         if start_s < end_s:
-            times += [flow.since + start_s for flow in self.running.values()]
+            times += [flow.slot_taken_at + start_s for flow in self.running.values()]
         return min((time for time in times if time > now), default=float("inf"))
 
 
 def _drop_older(flows: dict[bytes, Flow], limit_ms: float, now: float) -> None:
     old = []
     for work_id, flow in flows.items():
-        if flow.since + limit_ms / 1000.0 > now:
+        if flow.slot_taken_at + limit_ms / 1000.0 > now:
             break
         old.append(work_id)
     for work_id in old:
@@ -223,4 +223,4 @@
 
 
 def _ends(flows: Iterable[Flow], limit_ms: float) -> list[float]:
-    return [flow.since + limit_ms / 1000.0 for flow in flows][:1]
+    return [flow.slot_taken_at + limit_ms / 1000.0 for flow in flows][:1]
