Rename reserved to reserved_flows

Says what the mapping holds.

Rename: libs/placement/src/kumquatmux_placement/server_load.py reserved reserved_flows

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -335,7 +335,7 @@
     def finish(self, work_id: bytes, flow: Flow, *, answered: bool) -> None:
         """Free the slot of some work and learn from its run time."""
         load = flow.server_load
-        load.reserved.pop(work_id, None)
+        load.reserved_flows.pop(work_id, None)
         if load.running.pop(work_id, None) is None:
             return
         run_s = self.now - flow.slot_taken_at
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -71,7 +71,7 @@
         self.server = server
         self.service = service
         self.history = history
-        self.reserved: dict[bytes, Flow] = {}
+        self.reserved_flows: dict[bytes, Flow] = {}
         self.running: dict[bytes, Flow] = {}
         self.assumed: list[float] = []
         self.connections = 0
@@ -83,7 +83,7 @@
 
     def expire(self, now: float) -> None:
         """Free the slots of silent, stuck and assumed work."""
-        _drop_older(self.reserved, self.settings.reserve_ms, now)
+        _drop_older(self.reserved_flows, self.settings.reserve_ms, now)
         _drop_older(self.running, self.settings.stuck_ms, now)
         while self.assumed and self.assumed[0] <= now:
             self.assumed.pop(0)
@@ -91,17 +91,17 @@
     @property
     def taken(self) -> int:
         """Slots in use."""
-        return len(self.reserved) + len(self.running) + len(self.assumed)
+        return len(self.reserved_flows) + len(self.running) + len(self.assumed)
 
     def reserve(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to placed work."""
         flow.slot_taken_at = now
-        self.reserved[work_id] = flow
+        self.reserved_flows[work_id] = flow
         self.peak.record(self.taken, now)
 
     def start(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to work that starts, beyond the server's slots if need be."""
-        self.reserved.pop(work_id, None)
+        self.reserved_flows.pop(work_id, None)
         flow.slot_taken_at = now
         self.running[work_id] = flow
         self.peak.record(self.taken, now)
@@ -154,7 +154,9 @@
     def long(self, now: float) -> int:
         """Return the slots in use by work known or found to be long."""
         aged_since = now - self.settings.long_ms / 1000.0
-        known = sum(flow.size is SizeClass.LONG for flow in self.reserved.values())
+        known = sum(
+            flow.size is SizeClass.LONG for flow in self.reserved_flows.values()
+        )
         return known + sum(
             flow.size is SizeClass.LONG or flow.slot_taken_at <= aged_since
             for flow in self.running.values()
@@ -197,14 +199,14 @@
         """Count the slots that a lost placer had given when it told of them."""
         short_until = told + self.settings.assumed_ms / 1000.0
         long_until = told + self.settings.assumed_long_ms / 1000.0
-        known = len(self.reserved) + len(self.running)
+        known = len(self.reserved_flows) + len(self.running)
         short = max(digest.busy - digest.long - known, 0)
         self.assumed = [short_until] * short + [long_until] * digest.long
 
     def next_change(self, now: float) -> float:
         """Return when a slot may become free without an event, in seconds."""
         times = [self.blocked_until, *self.assumed[:1]]
-        times += _ends(self.reserved.values(), self.settings.reserve_ms)
+        times += _ends(self.reserved_flows.values(), self.settings.reserve_ms)
         times += _ends(self.running.values(), self.settings.stuck_ms)
         start_s, end_s = self.ahead_span_s()
         if start_s < end_s:
