--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -147,7 +147,7 @@
     @on.register
     def _(self, event: Started) -> list[Outcome]:
         flow = self.flow_on(event.work_id, event.server)
-        if flow is None or event.work_id in flow.server_load.running:
+        if flow is None or event.work_id in flow.server_load.running_flows:
             return []
         flow.server_load.start(event.work_id, flow, self.now)
         return []
@@ -336,7 +336,7 @@
         """Free the slot of some work and learn from its run time."""
         load = flow.server_load
         load.reserved_flows.pop(work_id, None)
-        if load.running.pop(work_id, None) is None:
+        if load.running_flows.pop(work_id, None) is None:
             return
         run_s = self.now - flow.slot_taken_at
         if answered:
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -72,7 +72,7 @@
         self.service = service
         self.history = history
         self.reserved_flows: dict[bytes, Flow] = {}
-        self.running: dict[bytes, Flow] = {}
+        self.running_flows: dict[bytes, Flow] = {}
         self.assumed: list[float] = []
         self.connections = 0
         self.mean_short_run_s = 0.0
@@ -84,14 +84,14 @@
     def expire(self, now: float) -> None:
         """Free the slots of silent, stuck and assumed work."""
         _drop_older(self.reserved_flows, self.settings.reserve_ms, now)
-        _drop_older(self.running, self.settings.stuck_ms, now)
+        _drop_older(self.running_flows, self.settings.stuck_ms, now)
         while self.assumed and self.assumed[0] <= now:
             self.assumed.pop(0)
 
     @property
     def taken(self) -> int:
         """Slots in use."""
-        return len(self.reserved_flows) + len(self.running) + len(self.assumed)
+        return len(self.reserved_flows) + len(self.running_flows) + len(self.assumed)
 
     def reserve(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to placed work."""
@@ -103,7 +103,7 @@
         """Give a slot to work that starts, beyond the server's slots if need be."""
         self.reserved_flows.pop(work_id, None)
         flow.slot_taken_at = now
-        self.running[work_id] = flow
+        self.running_flows[work_id] = flow
         self.peak.record(self.taken, now)
 
     def is_cold(self, now: float) -> bool:
@@ -136,7 +136,7 @@
         over = max(self.taken - self.server.slots, 0)
         ending = sum(
             flow.slot_taken_at + start_s <= now <= flow.slot_taken_at + end_s
-            for flow in self.running.values()
+            for flow in self.running_flows.values()
         )
         return max(ending - over, 0)
 
@@ -159,7 +159,7 @@
         )
         return known + sum(
             flow.size is SizeClass.LONG or flow.slot_taken_at <= aged_since
-            for flow in self.running.values()
+            for flow in self.running_flows.values()
         )
 
     def learn(self, run_s: float) -> None:
@@ -199,7 +199,7 @@
         """Count the slots that a lost placer had given when it told of them."""
         short_until = told + self.settings.assumed_ms / 1000.0
         long_until = told + self.settings.assumed_long_ms / 1000.0
-        known = len(self.reserved_flows) + len(self.running)
+        known = len(self.reserved_flows) + len(self.running_flows)
         short = max(digest.busy - digest.long - known, 0)
         self.assumed = [short_until] * short + [long_until] * digest.long
 
@@ -207,10 +207,12 @@
         """Return when a slot may become free without an event, in seconds."""
         times = [self.blocked_until, *self.assumed[:1]]
         times += _ends(self.reserved_flows.values(), self.settings.reserve_ms)
-        times += _ends(self.running.values(), self.settings.stuck_ms)
+        times += _ends(self.running_flows.values(), self.settings.stuck_ms)
         start_s, end_s = self.ahead_span_s()
         if start_s < end_s:
-            times += [flow.slot_taken_at + start_s for flow in self.running.values()]
+            times += [
+                flow.slot_taken_at + start_s for flow in self.running_flows.values()
+            ]
         return min((time for time in times if time > now), default=float("inf"))
 
 
