--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -73,7 +73,7 @@
         self.history = history
         self.reserved_flows: dict[bytes, Flow] = {}
         self.running_flows: dict[bytes, Flow] = {}
-        self.assumed: list[float] = []
+        self.assumed_slot_expiries: list[float] = []
         self.connections = 0
         self.mean_short_run_s = 0.0
         self.peak = RecentPeak(settings.report_fresh_ms / 1000.0)
@@ -85,13 +85,17 @@
         """Free the slots of silent, stuck and assumed work."""
         _drop_older(self.reserved_flows, self.settings.reserve_ms, now)
         _drop_older(self.running_flows, self.settings.stuck_ms, now)
-        while self.assumed and self.assumed[0] <= now:
-            self.assumed.pop(0)
+        while self.assumed_slot_expiries and self.assumed_slot_expiries[0] <= now:
+            self.assumed_slot_expiries.pop(0)
 
     @property
     def taken(self) -> int:
         """Slots in use."""
-        return len(self.reserved_flows) + len(self.running_flows) + len(self.assumed)
+        return (
+            len(self.reserved_flows)
+            + len(self.running_flows)
+            + len(self.assumed_slot_expiries)
+        )
 
     def reserve(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to placed work."""
@@ -201,11 +205,11 @@
         long_until = told + self.settings.assumed_long_ms / 1000.0
         known = len(self.reserved_flows) + len(self.running_flows)
         short = max(digest.busy - digest.long - known, 0)
-        self.assumed = [short_until] * short + [long_until] * digest.long
+        self.assumed_slot_expiries = [short_until] * short + [long_until] * digest.long
 
     def next_change(self, now: float) -> float:
         """Return when a slot may become free without an event, in seconds."""
-        times = [self.blocked_until, *self.assumed[:1]]
+        times = [self.blocked_until, *self.assumed_slot_expiries[:1]]
         times += _ends(self.reserved_flows.values(), self.settings.reserve_ms)
         times += _ends(self.running_flows.values(), self.settings.stuck_ms)
         start_s, end_s = self.ahead_span_s()
