--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -318,7 +318,7 @@
     def bind(self, work_id: bytes, flow: Flow) -> None:
         """Count the connection of placed work."""
         self.flows[work_id] = flow
-        flow.server_load.connections += 1
+        flow.server_load.open_connections += 1
 
     def flow_on(self, work_id: bytes, server: ServerId) -> Flow | None:
         """Return the flow of some work, adopted if it was not known."""
@@ -347,7 +347,7 @@
     def forget(self, work_id: bytes, flow: Flow) -> None:
         """Stop counting the connection of some work."""
         del self.flows[work_id]
-        flow.server_load.connections -= 1
+        flow.server_load.open_connections -= 1
         self.pool(flow.server_load.service).tidy(flow.server_load)
 
     def lose(self, work_id: bytes, flow: Flow) -> list[Outcome]:
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -74,7 +74,7 @@
         self.reserved_flows: dict[bytes, Flow] = {}
         self.running_flows: dict[bytes, Flow] = {}
         self.assumed_slot_expiries: list[float] = []
-        self.connections = 0
+        self.open_connections = 0
         self.mean_short_run_s = 0.0
         self.peak = RecentPeak(settings.report_fresh_ms / 1000.0)
         self.blocked_until = float("-inf")
@@ -119,7 +119,7 @@
         return (
             self.server.state is ServerState.READY
             and self.blocked_until <= now
-            and self.connections < self.server.connections
+            and self.open_connections < self.server.connections
         )
 
     def free(self, now: float) -> int:
@@ -196,7 +196,7 @@
     def digest(self, now: float) -> SlotDigest:
         """Return what the backup has to know."""
         return SlotDigest(
-            self.server.server, self.taken, self.long(now), self.connections
+            self.server.server, self.taken, self.long(now), self.open_connections
         )
 
     def assume(self, digest: SlotDigest, told: float) -> None:
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -63,7 +63,7 @@
 
     def tidy(self, load: ServerLoad) -> None:
         """Forget a server that is gone and holds no flow."""
-        if load.server.state is ServerState.STALE and load.connections == 0:
+        if load.server.state is ServerState.STALE and load.open_connections == 0:
             self.loads.pop(load.server.server, None)
 
     def expire(self, now: float) -> None:
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -67,6 +67,6 @@
         load.is_slow() or load.is_cold(now),
         load.long(now),
         load.taken / load.server.slots,
-        load.connections / load.server.connections,
+        load.open_connections / load.server.connections,
         random.random(),
     )
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -214,7 +214,7 @@
         assert len(pool.history.long_share_by_caller) <= SETTINGS.history_callers
         assert len(self.made.lost.ended_at) <= SETTINGS.remembered_work
         assert len(self.made.refused.ended_at) <= SETTINGS.remembered_work
-        connections = sum(load.connections for load in self.made.servers.values())
+        connections = sum(load.open_connections for load in self.made.servers.values())
         assert connections <= len(self.open)
 
 
