Rename peak to slots_in_use_peak

Says which peak it is.

Rename: libs/placement/src/kumquatmux_placement/server_load.py peak slots_in_use_peak

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -76,7 +76,7 @@
         self.assumed_slot_expiries: list[float] = []
         self.open_connections = 0
         self.mean_short_run_s = 0.0
-        self.peak = RecentPeak(settings.report_fresh_ms / 1000.0)
+        self.slots_in_use_peak = RecentPeak(settings.report_fresh_ms / 1000.0)
         self.blocked_until = float("-inf")
         self.backoff_s = 0.0
         self.suspected_until = float("-inf")
@@ -101,14 +101,14 @@
         """Give a slot to placed work."""
         flow.slot_taken_at = now
         self.reserved_flows[work_id] = flow
-        self.peak.record(self.taken, now)
+        self.slots_in_use_peak.record(self.taken, now)
 
     def start(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to work that starts, beyond the server's slots if need be."""
         self.reserved_flows.pop(work_id, None)
         flow.slot_taken_at = now
         self.running_flows[work_id] = flow
-        self.peak.record(self.taken, now)
+        self.slots_in_use_peak.record(self.taken, now)
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server announced itself not long ago."""
@@ -190,7 +190,7 @@
     def hear(self, report: LoadReported, now: float) -> None:
         """Trust the server less while it says that it is busier than counted."""
         fresh_s = self.settings.report_fresh_ms / 1000.0 - report.age
-        if report.busy > max(self.taken, self.peak.peak(now)):
+        if report.busy > max(self.taken, self.slots_in_use_peak.peak(now)):
             self.suspected_until = now + fresh_s
 
     def digest(self, now: float) -> SlotDigest:
