--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -77,7 +77,7 @@
         self.open_connections = 0
         self.mean_short_run_s = 0.0
         self.slots_in_use_peak = RecentPeak(settings.report_fresh_ms / 1000.0)
-        self.blocked_until = float("-inf")
+        self.backoff_until = float("-inf")
         self.backoff_s = 0.0
         self.suspected_until = float("-inf")
 
@@ -118,7 +118,7 @@
         """Return whether new work may go to the server at all."""
         return (
             self.server.state is ServerState.READY
-            and self.blocked_until <= now
+            and self.backoff_until <= now
             and self.open_connections < self.server.connections
         )
 
@@ -185,7 +185,7 @@
         first_s = self.settings.shed_backoff_ms / 1000.0
         limit_s = self.settings.shed_backoff_limit_ms / 1000.0
         self.backoff_s = min(max(self.backoff_s * 2.0, first_s), limit_s)
-        self.blocked_until = now + self.backoff_s
+        self.backoff_until = now + self.backoff_s
 
     def hear(self, report: LoadReported, now: float) -> None:
         """Trust the server less while it says that it is busier than counted."""
@@ -209,7 +209,7 @@
 
     def next_change(self, now: float) -> float:
         """Return when a slot may become free without an event, in seconds."""
-        times = [self.blocked_until, *self.assumed_slot_expiries[:1]]
+        times = [self.backoff_until, *self.assumed_slot_expiries[:1]]
         times += _ends(self.reserved_flows.values(), self.settings.reserve_ms)
         times += _ends(self.running_flows.values(), self.settings.stuck_ms)
         start_s, end_s = self.ahead_span_s()
