--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -79,7 +79,7 @@
         self.slots_in_use_peak = RecentPeak(settings.report_fresh_ms / 1000.0)
         self.backoff_until = float("-inf")
         self.backoff_s = 0.0
-        self.suspected_until = float("-inf")
+        self.reported_busier_until = float("-inf")
 
     def expire(self, now: float) -> None:
         """Free the slots of silent, stuck and assumed work."""
@@ -191,7 +191,7 @@
         """Trust the server less while it says that it is busier than counted."""
         fresh_s = self.settings.report_fresh_ms / 1000.0 - report.age
         if report.busy > max(self.taken, self.slots_in_use_peak.peak(now)):
-            self.suspected_until = now + fresh_s
+            self.reported_busier_until = now + fresh_s
 
     def digest(self, now: float) -> SlotDigest:
         """Return what the backup has to know."""
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -63,7 +63,7 @@
     load: ServerLoad, random: random.Random, now: float
 ) -> tuple[bool, bool, int, float, float, float]:
     return (
-        load.suspected_until > now,
+        load.reported_busier_until > now,
         load.is_slow() or load.is_cold(now),
         load.long(now),
         load.taken / load.server.slots,
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -109,7 +109,7 @@
     [placed] = made.handle(Submit(work(b"a")), 0.0)
     made.handle(Closed(b"a", placed.server), 0.5)
     made.handle(LoadReported(placed.server, busy, 0, age), 1.0)
-    assert (made.servers[placed.server].suspected_until > 1.0) is suspected
+    assert (made.servers[placed.server].reported_busier_until > 1.0) is suspected
     assert made.servers[placed.server].taken == 0
 
 
