Rename taken to slots_in_use

Says what is counted.

Rename: libs/placement/src/kumquatmux_placement/server_load.py taken slots_in_use

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -89,7 +89,7 @@
             self.assumed_slot_expiries.pop(0)
 
     @property
-    def taken(self) -> int:
+    def slots_in_use(self) -> int:
         """Slots in use."""
         return (
             len(self.reserved_flows)
@@ -101,14 +101,14 @@
         """Give a slot to placed work."""
         flow.slot_taken_at = now
         self.reserved_flows[work_id] = flow
-        self.slots_in_use_peak.record(self.taken, now)
+        self.slots_in_use_peak.record(self.slots_in_use, now)
 
     def start(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to work that starts, beyond the server's slots if need be."""
         self.reserved_flows.pop(work_id, None)
         flow.slot_taken_at = now
         self.running_flows[work_id] = flow
-        self.slots_in_use_peak.record(self.taken, now)
+        self.slots_in_use_peak.record(self.slots_in_use, now)
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server announced itself not long ago."""
@@ -126,7 +126,7 @@
         """Return how many new pieces of work the server can take."""
         if not self.is_open(now):
             return 0
-        return max(self.server.slots - self.taken + self.ahead(now), 0)
+        return max(self.server.slots - self.slots_in_use + self.ahead(now), 0)
 
     def ahead(self, now: float) -> int:
         """Return the slots in another zone that will be free after the way there.
@@ -137,7 +137,7 @@
         start_s, end_s = self.ahead_span_s()
         if start_s >= end_s:
             return 0
-        over = max(self.taken - self.server.slots, 0)
+        over = max(self.slots_in_use - self.server.slots, 0)
         ending = sum(
             flow.slot_taken_at + start_s <= now <= flow.slot_taken_at + end_s
             for flow in self.running_flows.values()
@@ -190,13 +190,13 @@
     def hear(self, report: LoadReported, now: float) -> None:
         """Trust the server less while it says that it is busier than counted."""
         fresh_s = self.settings.report_fresh_ms / 1000.0 - report.age
-        if report.busy > max(self.taken, self.slots_in_use_peak.peak(now)):
+        if report.busy > max(self.slots_in_use, self.slots_in_use_peak.peak(now)):
             self.reported_busier_until = now + fresh_s
 
     def digest(self, now: float) -> SlotDigest:
         """Return what the backup has to know."""
         return SlotDigest(
-            self.server.server, self.taken, self.long(now), self.open_connections
+            self.server.server, self.slots_in_use, self.long(now), self.open_connections
         )
 
     def assume(self, digest: SlotDigest, told: float) -> None:
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -86,7 +86,9 @@
     def note_short(self, now: float) -> None:
         """Remember how much short work is in progress."""
         loads = self.loads.values()
-        self.short_peak.record(sum(load.taken - load.long(now) for load in loads), now)
+        self.short_peak.record(
+            sum(load.slots_in_use - load.long(now) for load in loads), now
+        )
 
     def has_room_for_long(self, now: float) -> bool:
         """Return whether one more piece of long work leaves enough slots clear."""
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -66,7 +66,7 @@
         load.reported_busier_until > now,
         load.is_slow() or load.is_cold(now),
         load.long(now),
-        load.taken / load.server.slots,
+        load.slots_in_use / load.server.slots,
         load.open_connections / load.server.connections,
         random.random(),
     )
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -110,7 +110,7 @@
     made.handle(Closed(b"a", placed.server), 0.5)
     made.handle(LoadReported(placed.server, busy, 0, age), 1.0)
     assert (made.servers[placed.server].reported_busier_until > 1.0) is suspected
-    assert made.servers[placed.server].taken == 0
+    assert made.servers[placed.server].slots_in_use == 0
 
 
 def test_a_server_slower_than_the_service_is_used_last():
@@ -207,7 +207,10 @@
         made.handle(Started(work_id, placed.server), float(number))
         made.handle(Answered(work_id, placed.server), number + 0.01)
     [refused] = made.handle(Submit(work(b"c")), 3.0)
-    assert (refused.reason, made.servers[placed.server].taken) == ("no-server", 0)
+    assert (refused.reason, made.servers[placed.server].slots_in_use) == (
+        "no-server",
+        0,
+    )
 
 
 def test_later_work_on_a_bound_flow_takes_a_slot_beyond_the_servers():
@@ -217,7 +220,7 @@
     made.handle(Answered(b"a", placed.server), 0.1)
     made.handle(Submit(work(b"b")), 0.2)
     made.handle(Started(b"a", placed.server), 0.3)
-    assert made.servers[placed.server].taken == 2
+    assert made.servers[placed.server].slots_in_use == 2
     assert isinstance(made.handle(Submit(work(b"c")), 0.4)[0], Held)
     assert made.handle(Answered(b"a", placed.server), 0.5) == []
 
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -230,7 +230,7 @@
 
 
 def _overcommits(monkeypatch):
-    monkeypatch.setattr(ServerLoad, "taken", property(lambda load: 0))
+    monkeypatch.setattr(ServerLoad, "slots_in_use", property(lambda load: 0))
 
 
 def _places_anywhere(monkeypatch):
