Rename expire to release_expired_slots

Says what expires and what happens to it.

Rename: libs/placement/src/kumquatmux_placement/server_load.py expire release_expired_slots

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -81,7 +81,7 @@
         self.backoff_s = 0.0
         self.reported_busier_until = float("-inf")
 
-    def expire(self, now: float) -> None:
+    def release_expired_slots(self, now: float) -> None:
         """Free the slots of silent, stuck and assumed work."""
         _drop_older(self.reserved_flows, self.settings.reserve_ms, now)
         _drop_older(self.running_flows, self.settings.stuck_ms, now)
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -69,7 +69,7 @@
     def expire(self, now: float) -> None:
         """Free slots whose time is over."""
         for load in self.loads.values():
-            load.expire(now)
+            load.release_expired_slots(now)
 
     def choose(self, size: SizeClass, since: float, now: float) -> Choice | None:
         """Return a server for work held since some time, if it may be placed now."""
