--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -298,7 +298,7 @@
         work = waiting.work
         flow = Flow(choice.load, work.caller, waiting.size, work.repeatable)
         self.bind(work.work_id, flow)
-        choice.load.reserve(work.work_id, flow, self.now)
+        choice.load.reserve_slot(work.work_id, flow, self.now)
         if waiting.size is not SizeClass.LONG:
             self.pool(work.service).note_short(self.now)
         return Placed(
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -97,7 +97,7 @@
             + len(self.assumed_slot_expiries)
         )
 
-    def reserve(self, work_id: bytes, flow: Flow, now: float) -> None:
+    def reserve_slot(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to placed work."""
         flow.slot_taken_at = now
         self.reserved_flows[work_id] = flow
