--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -149,7 +149,7 @@
         flow = self.flow_on(event.work_id, event.server)
         if flow is None or event.work_id in flow.server_load.running_flows:
             return []
-        flow.server_load.start(event.work_id, flow, self.now)
+        flow.server_load.start_work(event.work_id, flow, self.now)
         return []
 
     @on.register
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -103,7 +103,7 @@
         self.reserved_flows[work_id] = flow
         self.slots_in_use_peak.record(self.slots_in_use, now)
 
-    def start(self, work_id: bytes, flow: Flow, now: float) -> None:
+    def start_work(self, work_id: bytes, flow: Flow, now: float) -> None:
         """Give a slot to work that starts, beyond the server's slots if need be."""
         self.reserved_flows.pop(work_id, None)
         flow.slot_taken_at = now
