--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -110,7 +110,7 @@
         self.running_flows[work_id] = flow
         self.slots_in_use_peak.record(self.slots_in_use, now)
 
-    def is_cold(self, now: float) -> bool:
+    def is_in_slow_start(self, now: float) -> bool:
         """Return whether the server announced itself not long ago."""
         return now - self.server.since < self.settings.warm_ms / 1000.0
 
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -64,7 +64,7 @@
 ) -> tuple[bool, bool, int, float, float, float]:
     return (
         load.reported_busier_until > now,
-        load.is_slow() or load.is_cold(now),
+        load.is_slow() or load.is_in_slow_start(now),
         load.long(now),
         load.slots_in_use / load.server.slots,
         load.open_connections / load.server.connections,
