Rename size to run_time_class

The class is of run times; size suggests bytes.

Rename: libs/placement/src/kumquatmux_placement/server_load.py size run_time_class

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -30,14 +30,20 @@
         since: When it took its slot, in seconds.
     """
 
-    __slots__ = ("server_load", "caller", "size", "repeatable", "slot_taken_at")
+    __slots__ = (
+        "server_load",
+        "caller",
+        "run_time_class",
+        "repeatable",
+        "slot_taken_at",
+    )
 
     def __init__(
         self, load: ServerLoad, caller: str, size: SizeClass, repeatable: bool
     ) -> None:
         self.server_load = load
         self.caller = caller
-        self.size = size
+        self.run_time_class = size
         self.repeatable = repeatable
         self.slot_taken_at = 0.0
 
@@ -159,10 +165,11 @@
         """Return the slots in use by work known or found to be long."""
         aged_since = now - self.settings.long_ms / 1000.0
         known = sum(
-            flow.size is SizeClass.LONG for flow in self.reserved_flows.values()
+            flow.run_time_class is SizeClass.LONG
+            for flow in self.reserved_flows.values()
         )
         return known + sum(
-            flow.size is SizeClass.LONG or flow.slot_taken_at <= aged_since
+            flow.run_time_class is SizeClass.LONG or flow.slot_taken_at <= aged_since
             for flow in self.running_flows.values()
         )
 
