Rename load to server_load

The parameter is a ServerLoad; load alone reads as a number or a verb.

Rename: libs/placement/src/kumquatmux_placement/server_load.py load server_load

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -39,9 +39,9 @@
     )
 
     def __init__(
-        self, load: ServerLoad, caller: str, size: SizeClass, repeatable: bool
+        self, server_load: ServerLoad, caller: str, size: SizeClass, repeatable: bool
     ) -> None:
-        self.server_load = load
+        self.server_load = server_load
         self.caller = caller
         self.run_time_class = size
         self.repeatable = repeatable
