Rename size to run_time_class

The class is of run times; size suggests bytes.

Rename: libs/placement/src/kumquatmux_placement/server_load.py size run_time_class

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -39,11 +39,15 @@
     )
 
     def __init__(
-        self, server_load: ServerLoad, caller: str, size: SizeClass, repeatable: bool
+        self,
+        server_load: ServerLoad,
+        caller: str,
+        run_time_class: SizeClass,
+        repeatable: bool,
     ) -> None:
         self.server_load = server_load
         self.caller = caller
-        self.run_time_class = size
+        self.run_time_class = run_time_class
         self.repeatable = repeatable
         self.slot_taken_at = 0.0
 
