Rename is_open to accepts_new_work

Says what the server is open for.

Rename: libs/placement/src/kumquatmux_placement/server_load.py is_open accepts_new_work

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -268,7 +268,7 @@
 
     def refusal(self, work: Work, pool: Pool, *, retry: bool) -> str:
         """Return why work cannot be held, empty if it can."""
-        if not any(load.is_open(self.now) for load in pool.loads.values()):
+        if not any(load.accepts_new_work(self.now) for load in pool.loads.values()):
             return "no-server"
         if len(pool.line) >= self.settings.queue_limit:
             return "queue-full"
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -124,7 +124,7 @@
         """Return whether the server announced itself not long ago."""
         return now - self.server.since < self.settings.warm_ms / 1000.0
 
-    def is_open(self, now: float) -> bool:
+    def accepts_new_work(self, now: float) -> bool:
         """Return whether new work may go to the server at all."""
         return (
             self.server.state is ServerState.READY
@@ -134,7 +134,7 @@
 
     def free(self, now: float) -> int:
         """Return how many new pieces of work the server can take."""
-        if not self.is_open(now):
+        if not self.accepts_new_work(now):
             return 0
         return max(self.server.slots - self.slots_in_use + self.ahead(now), 0)
 
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -92,7 +92,7 @@
 
     def has_room_for_long(self, now: float) -> bool:
         """Return whether one more piece of long work leaves enough slots clear."""
-        ready = [load for load in self.loads.values() if load.is_open(now)]
+        ready = [load for load in self.loads.values() if load.accepts_new_work(now)]
         slots = sum(load.server.slots for load in ready)
         largest = max((load.server.slots for load in ready), default=0)
         long = sum(load.long(now) for load in self.loads.values())
@@ -107,7 +107,7 @@
         slots = sum(
             load.server.slots
             for load in self.loads.values()
-            if is_near(load, self.settings) and load.is_open(now)
+            if is_near(load, self.settings) and load.accepts_new_work(now)
         )
         if slots == 0:
             return True
@@ -115,7 +115,9 @@
 
     def expected_wait(self, now: float) -> float:
         """Return how long work that is held from now on will wait, in seconds."""
-        open_loads = [load for load in self.loads.values() if load.is_open(now)]
+        open_loads = [
+            load for load in self.loads.values() if load.accepts_new_work(now)
+        ]
         slots = sum(load.server.slots - load.long(now) for load in open_loads)
         return len(self.line) * self.history.mean_short_run_s / max(slots, 1)
 
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -234,7 +234,7 @@
 
 
 def _places_anywhere(monkeypatch):
-    monkeypatch.setattr(ServerLoad, "is_open", lambda load, now: True)
+    monkeypatch.setattr(ServerLoad, "accepts_new_work", lambda load, now: True)
 
 
 def _never_refuses(monkeypatch):
