--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -132,7 +132,7 @@
             and self.open_connections < self.server.connections
         )
 
-    def free(self, now: float) -> int:
+    def free_slots(self, now: float) -> int:
         """Return how many new pieces of work the server can take."""
         if not self.accepts_new_work(now):
             return 0
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -41,7 +41,7 @@
         now: The time, in seconds.
         may_spill: Whether a server in another availability zone will do.
     """
-    free = [load for load in loads if load.free(now) > 0]
+    free = [load for load in loads if load.free_slots(now) > 0]
     near = [load for load in free if is_near(load, settings)]
     if near:
         return Choice(_best(near, random, now), "free-slot", len(near))
