Rename ahead to slots_free_on_arrival

Counts slots expected to be free when new work arrives over the link.

Rename: libs/placement/src/kumquatmux_placement/server_load.py ahead slots_free_on_arrival

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -136,9 +136,11 @@
         """Return how many new pieces of work the server can take."""
         if not self.accepts_new_work(now):
             return 0
-        return max(self.server.slots - self.slots_in_use + self.ahead(now), 0)
+        return max(
+            self.server.slots - self.slots_in_use + self.slots_free_on_arrival(now), 0
+        )
 
-    def ahead(self, now: float) -> int:
+    def slots_free_on_arrival(self, now: float) -> int:
         """Return the slots in another zone that will be free after the way there.
 
         Work that has run for about the mean time of short work is expected to end
