Rename ahead_span_s to expected_end_ages_s

Returns the range of ages at which work is expected to end.

Rename: libs/placement/src/kumquatmux_placement/server_load.py ahead_span_s expected_end_ages_s

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -146,7 +146,7 @@
         Work that has run for about the mean time of short work is expected to end
         within the link; no more than the running slots are given again.
         """
-        start_s, end_s = self.ahead_span_s()
+        start_s, end_s = self.expected_end_ages_s()
         if start_s >= end_s:
             return 0
         over = max(self.slots_in_use - self.server.slots, 0)
@@ -156,7 +156,7 @@
         )
         return max(ending - over, 0)
 
-    def ahead_span_s(self) -> tuple[float, float]:
+    def expected_end_ages_s(self) -> tuple[float, float]:
         """Return from and up to which age work is expected to end, in seconds."""
         near = not self.settings.zone or self.server.zone == self.settings.zone
         if near or not self.settings.bind_ahead or not self.history.mean_short_run_s:
@@ -225,7 +225,7 @@
         times = [self.backoff_until, *self.assumed_slot_expiries[:1]]
         times += _ends(self.reserved_flows.values(), self.settings.reserve_ms)
         times += _ends(self.running_flows.values(), self.settings.stuck_ms)
-        start_s, end_s = self.ahead_span_s()
+        start_s, end_s = self.expected_end_ages_s()
         if start_s < end_s:
             times += [
                 flow.slot_taken_at + start_s for flow in self.running_flows.values()
