--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -167,7 +167,7 @@
             self.history.mean_short_run_s + link_s,
         )
 
-    def long(self, now: float) -> int:
+    def long_work_slots(self, now: float) -> int:
         """Return the slots in use by work known or found to be long."""
         aged_since = now - self.settings.long_ms / 1000.0
         known = sum(
@@ -209,7 +209,10 @@
     def digest(self, now: float) -> SlotDigest:
         """Return what the backup has to know."""
         return SlotDigest(
-            self.server.server, self.slots_in_use, self.long(now), self.open_connections
+            self.server.server,
+            self.slots_in_use,
+            self.long_work_slots(now),
+            self.open_connections,
         )
 
     def assume(self, digest: SlotDigest, told: float) -> None:
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -87,7 +87,7 @@
         """Remember how much short work is in progress."""
         loads = self.loads.values()
         self.short_peak.record(
-            sum(load.slots_in_use - load.long(now) for load in loads), now
+            sum(load.slots_in_use - load.long_work_slots(now) for load in loads), now
         )
 
     def has_room_for_long(self, now: float) -> bool:
@@ -95,7 +95,7 @@
         ready = [load for load in self.loads.values() if load.accepts_new_work(now)]
         slots = sum(load.server.slots for load in ready)
         largest = max((load.server.slots for load in ready), default=0)
-        long = sum(load.long(now) for load in self.loads.values())
+        long = sum(load.long_work_slots(now) for load in self.loads.values())
         clear = min(largest * self.settings.clear_servers, self.short_peak.peak(now))
         return long < max(slots - clear, 1)
 
@@ -118,7 +118,9 @@
         open_loads = [
             load for load in self.loads.values() if load.accepts_new_work(now)
         ]
-        slots = sum(load.server.slots - load.long(now) for load in open_loads)
+        slots = sum(
+            load.server.slots - load.long_work_slots(now) for load in open_loads
+        )
         return len(self.line) * self.history.mean_short_run_s / max(slots, 1)
 
     def next_to_place(self, now: float) -> tuple[Waiting, Choice] | None:
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -65,7 +65,7 @@
     return (
         load.reported_busier_until > now,
         load.is_slow() or load.is_in_slow_start(now),
-        load.long(now),
+        load.long_work_slots(now),
         load.slots_in_use / load.server.slots,
         load.open_connections / load.server.connections,
         random.random(),
