--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -169,13 +169,14 @@
 
     def long_work_slots(self, now: float) -> int:
         """Return the slots in use by work known or found to be long."""
-        aged_since = now - self.settings.long_ms / 1000.0
+        long_if_taken_by = now - self.settings.long_ms / 1000.0
         known = sum(
             flow.run_time_class is SizeClass.LONG
             for flow in self.reserved_flows.values()
         )
         return known + sum(
-            flow.run_time_class is SizeClass.LONG or flow.slot_taken_at <= aged_since
+            flow.run_time_class is SizeClass.LONG
+            or flow.slot_taken_at <= long_if_taken_by
             for flow in self.running_flows.values()
         )
 
