Rename known to reserved_long

Counts reserved slots of long work.

Rename: libs/placement/src/kumquatmux_placement/server_load.py known reserved_long

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -170,11 +170,11 @@
     def long_work_slots(self, now: float) -> int:
         """Return the slots in use by work known or found to be long."""
         long_if_taken_by = now - self.settings.long_ms / 1000.0
-        known = sum(
+        reserved_long = sum(
             flow.run_time_class is SizeClass.LONG
             for flow in self.reserved_flows.values()
         )
-        return known + sum(
+        return reserved_long + sum(
             flow.run_time_class is SizeClass.LONG
             or flow.slot_taken_at <= long_if_taken_by
             for flow in self.running_flows.values()
