Rename over to slots_over_limit

Counts slots in use beyond those of the server.

Rename: libs/placement/src/kumquatmux_placement/server_load.py over slots_over_limit

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -149,12 +149,12 @@
         start_s, end_s = self.expected_end_ages_s()
         if start_s >= end_s:
             return 0
-        over = max(self.slots_in_use - self.server.slots, 0)
+        slots_over_limit = max(self.slots_in_use - self.server.slots, 0)
         ending = sum(
             flow.slot_taken_at + start_s <= now <= flow.slot_taken_at + end_s
             for flow in self.running_flows.values()
         )
-        return max(ending - over, 0)
+        return max(ending - slots_over_limit, 0)
 
     def expected_end_ages_s(self) -> tuple[float, float]:
         """Return from and up to which age work is expected to end, in seconds."""
