Rename ending to slots_about_to_end

Counts slots whose work is about to end.

Rename: libs/placement/src/kumquatmux_placement/server_load.py ending slots_about_to_end

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -150,11 +150,11 @@
         if start_s >= end_s:
             return 0
         slots_over_limit = max(self.slots_in_use - self.server.slots, 0)
-        ending = sum(
+        slots_about_to_end = sum(
             flow.slot_taken_at + start_s <= now <= flow.slot_taken_at + end_s
             for flow in self.running_flows.values()
         )
-        return max(ending - slots_over_limit, 0)
+        return max(slots_about_to_end - slots_over_limit, 0)
 
     def expected_end_ages_s(self) -> tuple[float, float]:
         """Return from and up to which age work is expected to end, in seconds."""
