Rename near to is_local

Boolean: the server is in the zone of this VM.

Rename: libs/placement/src/kumquatmux_placement/server_load.py near is_local

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -158,8 +158,12 @@
 
     def expected_end_ages_s(self) -> tuple[float, float]:
         """Return from and up to which age work is expected to end, in seconds."""
-        near = not self.settings.zone or self.server.zone == self.settings.zone
-        if near or not self.settings.bind_ahead or not self.history.mean_short_run_s:
+        is_local = not self.settings.zone or self.server.zone == self.settings.zone
+        if (
+            is_local
+            or not self.settings.bind_ahead
+            or not self.history.mean_short_run_s
+        ):
             return 0.0, 0.0
         link_s = self.settings.link_cost_ms / 1000.0
         return (
