--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -341,7 +341,7 @@
         run_s = self.now - flow.slot_taken_at
         if answered:
             load.backoff_s = 0.0
-            load.learn(run_s)
+            load.record_run_time(run_s)
             self.pool(load.service).history.record_run_time(flow.caller, run_s)
 
     def forget(self, work_id: bytes, flow: Flow) -> None:
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -184,7 +184,7 @@
             for flow in self.running_flows.values()
         )
 
-    def learn(self, run_s: float) -> None:
+    def record_run_time(self, run_s: float) -> None:
         """Take in the run time of answered work, in seconds."""
         if run_s * 1000.0 < self.settings.long_ms:
             self.mean_short_run_s += (run_s - self.mean_short_run_s) * (
