Rename shed to start_backoff

Says what a shed piece of work causes here.

Rename: libs/placement/src/kumquatmux_placement/server_load.py shed start_backoff

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -182,7 +182,7 @@
         flow = self.flows.get(event.work_id)
         if flow is None or flow.server_load.server.server != event.server:
             return []
-        flow.server_load.shed(self.now)
+        flow.server_load.start_backoff(self.now)
         return self.lose(event.work_id, flow)
 
     @on.register
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -198,7 +198,7 @@
             > self.history.mean_short_run_s * self.settings.slow_factor
         )
 
-    def shed(self, now: float) -> None:
+    def start_backoff(self, now: float) -> None:
         """Pause placing, longer with each shed work in a row."""
         first_s = self.settings.shed_backoff_ms / 1000.0
         limit_s = self.settings.shed_backoff_limit_ms / 1000.0
