Rename hear to apply_load_report

Says what is received and what is done with it.

Rename: libs/placement/src/kumquatmux_placement/server_load.py hear apply_load_report

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -217,7 +217,7 @@
     def _(self, event: LoadReported) -> list[Outcome]:
         load = self.servers.get(event.server)
         if load is not None:
-            load.hear(event, self.now)
+            load.apply_load_report(event, self.now)
         return []
 
     @on.register
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -205,7 +205,7 @@
         self.backoff_s = min(max(self.backoff_s * 2.0, first_s), limit_s)
         self.backoff_until = now + self.backoff_s
 
-    def hear(self, report: LoadReported, now: float) -> None:
+    def apply_load_report(self, report: LoadReported, now: float) -> None:
         """Trust the server less while it says that it is busier than counted."""
         fresh_s = self.settings.report_fresh_ms / 1000.0 - report.age
         if report.busy > max(self.slots_in_use, self.slots_in_use_peak.peak(now)):
