Rename assume to assume_slots

Says what is assumed.

Rename: libs/placement/src/kumquatmux_placement/server_load.py assume assume_slots

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -109,7 +109,7 @@
         for entry in digest:
             load = self.servers.get(entry.server)
             if load is not None:
-                load.assume(entry, self.now - age_s)
+                load.assume_slots(entry, self.now - age_s)
 
     def stand_down(self, service: ServiceName, now: float) -> None:
         """Forget the work of a service that another VM places from now on.
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -220,7 +220,7 @@
             self.open_connections,
         )
 
-    def assume(self, digest: SlotDigest, told: float) -> None:
+    def assume_slots(self, digest: SlotDigest, told: float) -> None:
         """Count the slots that a lost placer had given when it told of them."""
         short_until = told + self.settings.assumed_ms / 1000.0
         long_until = told + self.settings.assumed_long_ms / 1000.0
