Rename told to reported_at

The time at which the digest was made.

Rename: libs/placement/src/kumquatmux_placement/server_load.py told reported_at

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -220,10 +220,10 @@
             self.open_connections,
         )
 
-    def assume_slots(self, digest: SlotDigest, told: float) -> None:
+    def assume_slots(self, digest: SlotDigest, reported_at: float) -> None:
         """Count the slots that a lost placer had given when it told of them."""
-        short_until = told + self.settings.assumed_ms / 1000.0
-        long_until = told + self.settings.assumed_long_ms / 1000.0
+        short_until = reported_at + self.settings.assumed_ms / 1000.0
+        long_until = reported_at + self.settings.assumed_long_ms / 1000.0
         known = len(self.reserved_flows) + len(self.running_flows)
         short = max(digest.busy - digest.long - known, 0)
         self.assumed_slot_expiries = [short_until] * short + [long_until] * digest.long
