Rename short to assumed_short

Counts the assumed slots of short work.

Rename: libs/placement/src/kumquatmux_placement/server_load.py short assumed_short

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -225,8 +225,10 @@
         short_until = reported_at + self.settings.assumed_ms / 1000.0
         long_until = reported_at + self.settings.assumed_long_ms / 1000.0
         known_slots = len(self.reserved_flows) + len(self.running_flows)
-        short = max(digest.busy - digest.long - known_slots, 0)
-        self.assumed_slot_expiries = [short_until] * short + [long_until] * digest.long
+        assumed_short = max(digest.busy - digest.long - known_slots, 0)
+        self.assumed_slot_expiries = [short_until] * assumed_short + [
+            long_until
+        ] * digest.long
 
     def next_change(self, now: float) -> float:
         """Return when a slot may become free without an event, in seconds."""
