Rename next_change to next_slot_release

The change is the release of a slot.

Rename: libs/placement/src/kumquatmux_placement/server_load.py next_change next_slot_release

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -230,7 +230,7 @@
             long_until
         ] * digest.long
 
-    def next_change(self, now: float) -> float:
+    def next_slot_release(self, now: float) -> float:
         """Return when a slot may become free without an event, in seconds."""
         times = [self.backoff_until, *self.assumed_slot_expiries[:1]]
         times += _ends(self.reserved_flows.values(), self.settings.reserve_ms)
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -139,7 +139,7 @@
         if not self.line:
             return float("inf")
         times = [self.line.next_deadline()]
-        times += [load.next_change(now) for load in self.loads.values()]
+        times += [load.next_slot_release(now) for load in self.loads.values()]
         times += self.spill_times(now)
         return min(times)
 
