--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -93,8 +93,8 @@
 
     def release_expired_slots(self, now: float) -> None:
         """Free the slots of silent, stuck and assumed work."""
-        _drop_older(self.reserved_flows, self.settings.reserve_ms, now)
-        _drop_older(self.running_flows, self.settings.stuck_ms, now)
+        _remove_expired(self.reserved_flows, self.settings.reserve_ms, now)
+        _remove_expired(self.running_flows, self.settings.stuck_ms, now)
         while self.assumed_slot_expiries and self.assumed_slot_expiries[0] <= now:
             self.assumed_slot_expiries.pop(0)
 
@@ -243,7 +243,7 @@
         return min((time for time in times if time > now), default=float("inf"))
 
 
-def _drop_older(flows: dict[bytes, Flow], limit_ms: float, now: float) -> None:
+def _remove_expired(flows: dict[bytes, Flow], limit_ms: float, now: float) -> None:
     old = []
     for work_id, flow in flows.items():
         if flow.slot_taken_at + limit_ms / 1000.0 > now:
