Rename old to expired

Names the reason for the removal.

Rename: libs/placement/src/kumquatmux_placement/server_load.py old expired

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -244,12 +244,12 @@
 
 
 def _remove_expired(flows: dict[bytes, Flow], limit_ms: float, now: float) -> None:
-    old = []
+    expired = []
     for work_id, flow in flows.items():
         if flow.slot_taken_at + limit_ms / 1000.0 > now:
             break
-        old.append(work_id)
-    for work_id in old:
+        expired.append(work_id)
+    for work_id in expired:
         del flows[work_id]
 
 
