Rename _ends to _first_expiry

Returns the first expiry time, if any.

Rename: libs/placement/src/kumquatmux_placement/server_load.py _ends _first_expiry

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -233,8 +233,8 @@
     def next_slot_release(self, now: float) -> float:
         """Return when a slot may become free without an event, in seconds."""
         times = [self.backoff_until, *self.assumed_slot_expiries[:1]]
-        times += _ends(self.reserved_flows.values(), self.settings.reserve_ms)
-        times += _ends(self.running_flows.values(), self.settings.stuck_ms)
+        times += _first_expiry(self.reserved_flows.values(), self.settings.reserve_ms)
+        times += _first_expiry(self.running_flows.values(), self.settings.stuck_ms)
         start_s, end_s = self.expected_end_ages_s()
         if start_s < end_s:
             times += [
@@ -253,5 +253,5 @@
         del flows[work_id]
 
 
-def _ends(flows: Iterable[Flow], limit_ms: float) -> list[float]:
+def _first_expiry(flows: Iterable[Flow], limit_ms: float) -> list[float]:
     return [flow.slot_taken_at + limit_ms / 1000.0 for flow in flows][:1]
