--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -32,7 +32,7 @@
 )
 from kumquatmux_placement.recent_work import RecentWorkIds
 from kumquatmux_placement.server_load import Flow, ServerLoad
-from kumquatmux_placement.server_pool import Pool
+from kumquatmux_placement.server_pool import ServerPool
 from kumquatmux_placement.server_selection import Choice
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import Waiting
@@ -53,7 +53,7 @@
     def __init__(self, settings: PlacementSettings, random: random.Random) -> None:
         self.settings = settings
         self.random = random
-        self.pools: dict[ServiceName, Pool] = {}
+        self.pools: dict[ServiceName, ServerPool] = {}
         self.flows: dict[bytes, Flow] = {}
         self.servers: dict[ServerId, ServerLoad] = {}
         self.refused = RecentWorkIds(settings)
@@ -122,10 +122,10 @@
                 self.finish(work_id, flow, answered=False)
                 self.forget(work_id, flow)
 
-    def pool(self, service: ServiceName) -> Pool:
+    def pool(self, service: ServiceName) -> ServerPool:
         """Return what is known about a service."""
         if service not in self.pools:
-            self.pools[service] = Pool(self.settings, service, self.random)
+            self.pools[service] = ServerPool(self.settings, service, self.random)
         return self.pools[service]
 
     @singledispatchmethod
@@ -228,7 +228,7 @@
                 outcomes += self.drain(pool)
         return outcomes
 
-    def answer_again(self, work: Work, pool: Pool) -> list[Outcome] | None:
+    def answer_again(self, work: Work, pool: ServerPool) -> list[Outcome] | None:
         """Return the outcome of work that was submitted before, if it was."""
         flow = self.flows.get(work.work_id)
         if flow is not None:
@@ -244,7 +244,7 @@
             return [Unknown(work.work_id, work.service, ServerId(""))]
         return None
 
-    def admit(self, work: Work, pool: Pool) -> Outcome:
+    def admit(self, work: Work, pool: ServerPool) -> Outcome:
         """Place, hold or refuse new work."""
         size = pool.history.expected_class(work)
         retry = work.attempt > 0 or self.refused.contains(work.work_id, self.now)
@@ -261,12 +261,12 @@
         pool.line.add(Waiting(work, size, self.now, until))
         return Held(work.work_id, work.service, until)
 
-    def is_behind(self, size: SizeClass, pool: Pool) -> bool:
+    def is_behind(self, size: SizeClass, pool: ServerPool) -> bool:
         """Return whether work held earlier goes before new work of that size."""
         ahead = pool.line.short
         return bool(ahead) or (size is SizeClass.LONG and bool(pool.line.long))
 
-    def refusal(self, work: Work, pool: Pool, *, retry: bool) -> str:
+    def refusal(self, work: Work, pool: ServerPool, *, retry: bool) -> str:
         """Return why work cannot be held, empty if it can."""
         if not any(load.accepts_new_work(self.now) for load in pool.loads.values()):
             return "no-server"
@@ -279,7 +279,7 @@
             return "retry-budget"
         return ""
 
-    def drain(self, pool: Pool) -> list[Outcome]:
+    def drain(self, pool: ServerPool) -> list[Outcome]:
         """Refuse held work whose time is over and place what can be placed."""
         pool.expire(self.now)
         outcomes: list[Outcome] = []
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -15,7 +15,7 @@
 from kumquatmux_placement.wait_queue import Waiting, WaitingLine
 
 
-class Pool:
+class ServerPool:
     """All that placement knows about one service.
 
     Attributes:
