--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -12,7 +12,7 @@
 from kumquatmux_placement.server_load import ServerLoad
 from kumquatmux_placement.server_selection import Choice, choose, is_near
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.wait_queue import Waiting, WaitingLine
+from kumquatmux_placement.wait_queue import Waiting, WaitQueue
 
 
 class ServerPool:
@@ -34,7 +34,7 @@
         self.service = service
         self.random = random
         self.loads: dict[ServerId, ServerLoad] = {}
-        self.line = WaitingLine(settings)
+        self.line = WaitQueue(settings)
         self.history = RunTimeHistory(settings)
         self.budget = RetryBudget(settings)
         self.short_peak = RecentPeak(settings.clear_memory_ms / 1000.0)
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -26,7 +26,7 @@
     until: float
 
 
-class WaitingLine:
+class WaitQueue:
     """The held work of one service, by expected size and then by arrival.
 
     A line that has not been empty for a while stands: demand is above what the
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -45,7 +45,7 @@
 from kumquatmux_placement.recent_work import RecentWorkIds
 from kumquatmux_placement.server_load import ServerLoad
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.wait_queue import WaitingLine
+from kumquatmux_placement.wait_queue import WaitQueue
 
 SERVICE = ServiceName("entries")
 NAMES = [ServerId(f"127.0.0.{number}:9000") for number in (1, 2, 3)]
@@ -238,7 +238,7 @@
 
 
 def _never_refuses(monkeypatch):
-    monkeypatch.setattr(WaitingLine, "expired", lambda line, now: [])
+    monkeypatch.setattr(WaitQueue, "expired", lambda line, now: [])
 
 
 def _forgets_submitted(monkeypatch):
