--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -35,7 +35,7 @@
 from kumquatmux_placement.server_pool import ServerPool
 from kumquatmux_placement.server_selection import Choice
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.wait_queue import Waiting
+from kumquatmux_placement.wait_queue import QueuedWork
 
 
 class Admission:
@@ -253,12 +253,12 @@
         if not self.is_behind(size, pool):
             choice = pool.choose(size, self.now, self.now)
             if choice is not None:
-                return self.place(Waiting(work, size, self.now, self.now), choice)
+                return self.place(QueuedWork(work, size, self.now, self.now), choice)
         refusal = self.refusal(work, pool, retry=retry)
         if refusal:
             return self.refuse(work, refusal, self.now)
         until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
-        pool.line.add(Waiting(work, size, self.now, until))
+        pool.line.add(QueuedWork(work, size, self.now, until))
         return Held(work.work_id, work.service, until)
 
     def is_behind(self, size: SizeClass, pool: ServerPool) -> bool:
@@ -293,7 +293,7 @@
             outcomes.append(self.refuse(waiting.work, "held-too-long", waiting.since))
         return outcomes
 
-    def place(self, waiting: Waiting, choice: Choice) -> Outcome:
+    def place(self, waiting: QueuedWork, choice: Choice) -> Outcome:
         """Bind work to a server for good and take a slot for it."""
         work = waiting.work
         flow = Flow(choice.load, work.caller, waiting.size, work.repeatable)
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -12,7 +12,7 @@
 from kumquatmux_placement.server_load import ServerLoad
 from kumquatmux_placement.server_selection import Choice, choose, is_near
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.wait_queue import Waiting, WaitQueue
+from kumquatmux_placement.wait_queue import QueuedWork, WaitQueue
 
 
 class ServerPool:
@@ -123,7 +123,7 @@
         )
         return len(self.line) * self.history.mean_short_run_s / max(slots, 1)
 
-    def next_to_place(self, now: float) -> tuple[Waiting, Choice] | None:
+    def next_to_place(self, now: float) -> tuple[QueuedWork, Choice] | None:
         """Return the held work that can be placed now and its server."""
         for line in self.line.lines():
             waiting = next(iter(line.values()), None)
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -10,7 +10,7 @@
 from kumquatmux_placement.settings import PlacementSettings
 
 
-class Waiting(NamedTuple):
+class QueuedWork(NamedTuple):
     """One held piece of work.
 
     Attributes:
@@ -42,29 +42,29 @@
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
         self.standing_since = float("inf")
-        self.short: OrderedDict[bytes, Waiting] = OrderedDict()
-        self.long: OrderedDict[bytes, Waiting] = OrderedDict()
+        self.short: OrderedDict[bytes, QueuedWork] = OrderedDict()
+        self.long: OrderedDict[bytes, QueuedWork] = OrderedDict()
         self.deadlines: list[tuple[float, bytes]] = []
 
     def __len__(self) -> int:
         return len(self.short) + len(self.long)
 
-    def lines(self) -> tuple[OrderedDict[bytes, Waiting], ...]:
+    def lines(self) -> tuple[OrderedDict[bytes, QueuedWork], ...]:
         """Return the held work by line, the one that goes first in front."""
         return self.short, self.long
 
-    def get(self, work_id: bytes) -> Waiting | None:
+    def get(self, work_id: bytes) -> QueuedWork | None:
         """Return the held work of that name, if any."""
         return self.short.get(work_id) or self.long.get(work_id)
 
-    def add(self, waiting: Waiting) -> None:
+    def add(self, waiting: QueuedWork) -> None:
         """Put work at the end of its line."""
         self.standing_since = min(self.standing_since, waiting.since)
         line = self.long if waiting.size is SizeClass.LONG else self.short
         line[waiting.work.work_id] = waiting
         heapq.heappush(self.deadlines, (waiting.until, waiting.work.work_id))
 
-    def remove(self, work_id: bytes) -> Waiting | None:
+    def remove(self, work_id: bytes) -> QueuedWork | None:
         """Take work out and return it, if it was held."""
         waiting = self.short.pop(work_id, None) or self.long.pop(work_id, None)
         if not self:
@@ -92,7 +92,7 @@
         oldest = min((first.since for first in self.firsts()), default=float("inf"))
         return min(self.next_own_deadline(), max(oldest + crest_s, crest_from))
 
-    def firsts(self) -> list[Waiting]:
+    def firsts(self) -> list[QueuedWork]:
         """Return the oldest work of each line."""
         return [next(iter(line.values())) for line in self.lines() if line]
 
@@ -106,18 +106,18 @@
             heapq.heappop(self.deadlines)
         return float("inf")
 
-    def expired(self, now: float) -> list[Waiting]:
+    def expired(self, now: float) -> list[QueuedWork]:
         """Take out and return the work whose deadline has come."""
-        gone: list[Waiting] = []
+        gone: list[QueuedWork] = []
         while self.next_own_deadline() <= now:
             waiting = self.remove(self.deadlines[0][1])
             if waiting is not None:
                 gone.append(waiting)
         return [*gone, *self.crested(now)]
 
-    def crested(self, now: float) -> list[Waiting]:
+    def crested(self, now: float) -> list[QueuedWork]:
         """Take out and return the work held too long for a standing line."""
-        gone: list[Waiting] = []
+        gone: list[QueuedWork] = []
         hold_s = self.hold_s(now)
         for waiting in self.firsts():
             while waiting.since + hold_s <= now:
