--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -33,7 +33,7 @@
 from kumquatmux_placement.recent_work import RecentWorkIds
 from kumquatmux_placement.server_load import Flow, ServerLoad
 from kumquatmux_placement.server_pool import ServerPool
-from kumquatmux_placement.server_selection import Choice
+from kumquatmux_placement.server_selection import SelectedServer
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import QueuedWork
 
@@ -293,7 +293,7 @@
             outcomes.append(self.refuse(waiting.work, "held-too-long", waiting.since))
         return outcomes
 
-    def place(self, waiting: QueuedWork, choice: Choice) -> Outcome:
+    def place(self, waiting: QueuedWork, choice: SelectedServer) -> Outcome:
         """Bind work to a server for good and take a slot for it."""
         work = waiting.work
         flow = Flow(choice.load, work.caller, waiting.size, work.repeatable)
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -10,7 +10,7 @@
 from kumquatmux_placement.retry_budget import RetryBudget
 from kumquatmux_placement.run_time_history import RunTimeHistory
 from kumquatmux_placement.server_load import ServerLoad
-from kumquatmux_placement.server_selection import Choice, choose, is_near
+from kumquatmux_placement.server_selection import SelectedServer, choose, is_near
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import QueuedWork, WaitQueue
 
@@ -71,7 +71,9 @@
         for load in self.loads.values():
             load.release_expired_slots(now)
 
-    def choose(self, size: SizeClass, since: float, now: float) -> Choice | None:
+    def choose(
+        self, size: SizeClass, since: float, now: float
+    ) -> SelectedServer | None:
         """Return a server for work held since some time, if it may be placed now."""
         if size is SizeClass.LONG and not self.has_room_for_long(now):
             return None
@@ -123,7 +125,7 @@
         )
         return len(self.line) * self.history.mean_short_run_s / max(slots, 1)
 
-    def next_to_place(self, now: float) -> tuple[QueuedWork, Choice] | None:
+    def next_to_place(self, now: float) -> tuple[QueuedWork, SelectedServer] | None:
         """Return the held work that can be placed now and its server."""
         for line in self.line.lines():
             waiting = next(iter(line.values()), None)
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -10,7 +10,7 @@
 from kumquatmux_placement.settings import PlacementSettings
 
 
-class Choice(NamedTuple):
+class SelectedServer(NamedTuple):
     """The server picked for some work.
 
     Attributes:
@@ -31,7 +31,7 @@
     now: float,
     *,
     may_spill: bool,
-) -> Choice | None:
+) -> SelectedServer | None:
     """Return the best server with a free slot, if there is one.
 
     Args:
@@ -44,9 +44,9 @@
     free = [load for load in loads if load.free_slots(now) > 0]
     near = [load for load in free if is_near(load, settings)]
     if near:
-        return Choice(_best(near, random, now), "free-slot", len(near))
+        return SelectedServer(_best(near, random, now), "free-slot", len(near))
     if free and may_spill:
-        return Choice(_best(free, random, now), "spill", len(free))
+        return SelectedServer(_best(free, random, now), "spill", len(free))
     return None
 
 
