Rename choose to select_server

Says what is selected.

Rename: libs/placement/src/kumquatmux_placement/server_selection.py choose select_server

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -10,7 +10,7 @@
 from kumquatmux_placement.retry_budget import RetryBudget
 from kumquatmux_placement.run_time_history import RunTimeHistory
 from kumquatmux_placement.server_load import ServerLoad
-from kumquatmux_placement.server_selection import SelectedServer, choose, is_near
+from kumquatmux_placement.server_selection import SelectedServer, is_near, select_server
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import QueuedWork, WaitQueue
 
@@ -77,7 +77,7 @@
         """Return a server for work held since some time, if it may be placed now."""
         if size is SizeClass.LONG and not self.has_room_for_long(now):
             return None
-        return choose(
+        return select_server(
             self.loads.values(),
             self.settings,
             self.random,
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -24,7 +24,7 @@
     candidates: int
 
 
-def choose(
+def select_server(
     loads: Iterable[ServerLoad],
     settings: PlacementSettings,
     random: random.Random,
