--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -296,15 +296,15 @@
     def place(self, waiting: QueuedWork, choice: SelectedServer) -> Outcome:
         """Bind work to a server for good and take a slot for it."""
         work = waiting.work
-        flow = Flow(choice.load, work.caller, waiting.size, work.repeatable)
+        flow = Flow(choice.server_load, work.caller, waiting.size, work.repeatable)
         self.bind(work.work_id, flow)
-        choice.load.reserve_slot(work.work_id, flow, self.now)
+        choice.server_load.reserve_slot(work.work_id, flow, self.now)
         if waiting.size is not SizeClass.LONG:
             self.pool(work.service).note_short(self.now)
         return Placed(
             work.work_id,
             work.service,
-            choice.load.server.server,
+            choice.server_load.server.server,
             choice.reason,
             choice.candidates,
             self.now - waiting.since,
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -19,7 +19,7 @@
         candidates: How many servers could have been picked.
     """
 
-    load: ServerLoad
+    server_load: ServerLoad
     reason: str
     candidates: int
 
