--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -306,7 +306,7 @@
             work.service,
             choice.server_load.server.server,
             choice.reason,
-            choice.candidates,
+            choice.candidate_count,
             self.now - waiting.since,
         )
 
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -21,7 +21,7 @@
 
     server_load: ServerLoad
     reason: str
-    candidates: int
+    candidate_count: int
 
 
 def select_server(
