Rename loads to server_loads

The parameter holds the loads of the servers.

Rename: libs/placement/src/kumquatmux_placement/server_selection.py loads server_loads

--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -25,7 +25,7 @@
 
 
 def select_server(
-    loads: Iterable[ServerLoad],
+    server_loads: Iterable[ServerLoad],
     settings: PlacementSettings,
     random: random.Random,
     now: float,
@@ -41,7 +41,7 @@
         now: The time, in seconds.
         may_spill: Whether a server in another availability zone will do.
     """
-    free = [load for load in loads if load.free_slots(now) > 0]
+    free = [load for load in server_loads if load.free_slots(now) > 0]
     near = [load for load in free if is_near(load, settings)]
     if near:
         return SelectedServer(_best(near, random, now), "free-slot", len(near))
