--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -82,7 +82,7 @@
             self.settings,
             self.random,
             now,
-            may_spill=self.may_spill(since, now),
+            allow_other_zones=self.may_spill(since, now),
         )
 
     def note_short(self, now: float) -> None:
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -30,7 +30,7 @@
     random: random.Random,
     now: float,
     *,
-    may_spill: bool,
+    allow_other_zones: bool,
 ) -> SelectedServer | None:
     """Return the best server with a free slot, if there is one.
 
@@ -45,7 +45,7 @@
     near = [load for load in free if is_near(load, settings)]
     if near:
         return SelectedServer(_best(near, random, now), "free-slot", len(near))
-    if free and may_spill:
+    if free and allow_other_zones:
         return SelectedServer(_best(free, random, now), "spill", len(free))
     return None
 
