Rename free to with_free_slot

Says what the servers have.

Rename: libs/placement/src/kumquatmux_placement/server_selection.py free with_free_slot

--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -41,12 +41,14 @@
         now: The time, in seconds.
         may_spill: Whether a server in another availability zone will do.
     """
-    free = [load for load in server_loads if load.free_slots(now) > 0]
-    near = [load for load in free if is_near(load, settings)]
+    with_free_slot = [load for load in server_loads if load.free_slots(now) > 0]
+    near = [load for load in with_free_slot if is_near(load, settings)]
     if near:
         return SelectedServer(_best(near, random, now), "free-slot", len(near))
-    if free and allow_other_zones:
-        return SelectedServer(_best(free, random, now), "spill", len(free))
+    if with_free_slot and allow_other_zones:
+        return SelectedServer(
+            _best(with_free_slot, random, now), "spill", len(with_free_slot)
+        )
     return None
 
 
