Rename near to local

Servers in the preferred zone are local; near is vague.

Rename: libs/placement/src/kumquatmux_placement/server_selection.py near local

--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -42,9 +42,9 @@
         may_spill: Whether a server in another availability zone will do.
     """
     with_free_slot = [load for load in server_loads if load.free_slots(now) > 0]
-    near = [load for load in with_free_slot if is_near(load, settings)]
-    if near:
-        return SelectedServer(_best(near, random, now), "free-slot", len(near))
+    local = [load for load in with_free_slot if is_near(load, settings)]
+    if local:
+        return SelectedServer(_best(local, random, now), "free-slot", len(local))
     if with_free_slot and allow_other_zones:
         return SelectedServer(
             _best(with_free_slot, random, now), "spill", len(with_free_slot)
