--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -10,7 +10,11 @@
 from kumquatmux_placement.retry_budget import RetryBudget
 from kumquatmux_placement.run_time_history import RunTimeHistory
 from kumquatmux_placement.server_load import ServerLoad
-from kumquatmux_placement.server_selection import SelectedServer, is_near, select_server
+from kumquatmux_placement.server_selection import (
+    SelectedServer,
+    is_in_preferred_zone,
+    select_server,
+)
 from kumquatmux_placement.settings import PlacementSettings
 from kumquatmux_placement.wait_queue import QueuedWork, WaitQueue
 
@@ -109,7 +113,7 @@
         slots = sum(
             load.server.slots
             for load in self.loads.values()
-            if is_near(load, self.settings) and load.accepts_new_work(now)
+            if is_in_preferred_zone(load, self.settings) and load.accepts_new_work(now)
         )
         if slots == 0:
             return True
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -42,7 +42,7 @@
         may_spill: Whether a server in another availability zone will do.
     """
     with_free_slot = [load for load in server_loads if load.free_slots(now) > 0]
-    local = [load for load in with_free_slot if is_near(load, settings)]
+    local = [load for load in with_free_slot if is_in_preferred_zone(load, settings)]
     if local:
         return SelectedServer(_best(local, random, now), "free-slot", len(local))
     if with_free_slot and allow_other_zones:
@@ -52,7 +52,7 @@
     return None
 
 
-def is_near(load: ServerLoad, settings: PlacementSettings) -> bool:
+def is_in_preferred_zone(load: ServerLoad, settings: PlacementSettings) -> bool:
     """Return whether the server is in this VM's zone, or zones do not matter."""
     return not settings.zone or load.server.zone == settings.zone
 
