Rename _best to _least_loaded

Says how the servers are ordered.

Rename: libs/placement/src/kumquatmux_placement/server_selection.py _best _least_loaded

--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -44,10 +44,12 @@
     with_free_slot = [load for load in server_loads if load.free_slots(now) > 0]
     local = [load for load in with_free_slot if is_in_preferred_zone(load, settings)]
     if local:
-        return SelectedServer(_best(local, random, now), "free-slot", len(local))
+        return SelectedServer(
+            _least_loaded(local, random, now), "free-slot", len(local)
+        )
     if with_free_slot and allow_other_zones:
         return SelectedServer(
-            _best(with_free_slot, random, now), "spill", len(with_free_slot)
+            _least_loaded(with_free_slot, random, now), "spill", len(with_free_slot)
         )
     return None
 
@@ -57,7 +59,9 @@
     return not settings.zone or load.server.zone == settings.zone
 
 
-def _best(loads: list[ServerLoad], random: random.Random, now: float) -> ServerLoad:
+def _least_loaded(
+    loads: list[ServerLoad], random: random.Random, now: float
+) -> ServerLoad:
     return min(loads, key=lambda load: _cost(load, random, now))
 
 
