--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -62,10 +62,10 @@
 def _least_loaded(
     loads: list[ServerLoad], random: random.Random, now: float
 ) -> ServerLoad:
-    return min(loads, key=lambda load: _cost(load, random, now))
+    return min(loads, key=lambda load: _selection_key(load, random, now))
 
 
-def _cost(
+def _selection_key(
     load: ServerLoad, random: random.Random, now: float
 ) -> tuple[bool, bool, int, float, float, float]:
     return (
