Rename loads to server_loads

The attribute holds the loads of the servers.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py loads server_loads

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -93,7 +93,7 @@
         """Return what the backup of a service has to know, an entry a server."""
         pool = self.pool(service)
         pool.expire(self.now)
-        return tuple(load.digest(self.now) for load in pool.loads.values())
+        return tuple(load.digest(self.now) for load in pool.server_loads.values())
 
     def restore(
         self, digest: tuple[SlotDigest, ...], now: float, *, age_s: float = 0.0
@@ -206,10 +206,10 @@
     def _(self, event: ServersChanged) -> list[Outcome]:
         pool = self.pool(event.service)
         pool.change(event.servers)
-        for name, load in pool.loads.items():
+        for name, load in pool.server_loads.items():
             self.servers[name] = load
         for name, load in list(self.servers.items()):
-            if load.service == event.service and name not in pool.loads:
+            if load.service == event.service and name not in pool.server_loads:
                 del self.servers[name]
         return self.drain(pool)
 
@@ -268,7 +268,9 @@
 
     def refusal(self, work: Work, pool: ServerPool, *, retry: bool) -> str:
         """Return why work cannot be held, empty if it can."""
-        if not any(load.accepts_new_work(self.now) for load in pool.loads.values()):
+        if not any(
+            load.accepts_new_work(self.now) for load in pool.server_loads.values()
+        ):
             return "no-server"
         if len(pool.line) >= self.settings.queue_limit:
             return "queue-full"
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -37,7 +37,7 @@
         self.settings = settings
         self.service = service
         self.random = random
-        self.loads: dict[ServerId, ServerLoad] = {}
+        self.server_loads: dict[ServerId, ServerLoad] = {}
         self.line = WaitQueue(settings)
         self.history = RunTimeHistory(settings)
         self.budget = RetryBudget(settings)
@@ -48,31 +48,31 @@
         self.settings = settings
         self.history.settings = settings
         self.budget.settings = settings
-        for load in self.loads.values():
+        for load in self.server_loads.values():
             load.settings = settings
 
     def change(self, servers: tuple[Server, ...]) -> None:
         """Take in the announced servers; one that is gone gets nothing new."""
         named = {server.server for server in servers}
-        for name, load in list(self.loads.items()):
+        for name, load in list(self.server_loads.items()):
             if name not in named:
                 load.server = load.server._replace(state=ServerState.STALE)
                 self.tidy(load)
         for server in servers:
-            if server.server in self.loads:
-                self.loads[server.server].server = server
+            if server.server in self.server_loads:
+                self.server_loads[server.server].server = server
             else:
                 load = ServerLoad(self.settings, self.service, server, self.history)
-                self.loads[server.server] = load
+                self.server_loads[server.server] = load
 
     def tidy(self, load: ServerLoad) -> None:
         """Forget a server that is gone and holds no flow."""
         if load.server.state is ServerState.STALE and load.open_connections == 0:
-            self.loads.pop(load.server.server, None)
+            self.server_loads.pop(load.server.server, None)
 
     def expire(self, now: float) -> None:
         """Free slots whose time is over."""
-        for load in self.loads.values():
+        for load in self.server_loads.values():
             load.release_expired_slots(now)
 
     def choose(
@@ -82,7 +82,7 @@
         if size is SizeClass.LONG and not self.has_room_for_long(now):
             return None
         return select_server(
-            self.loads.values(),
+            self.server_loads.values(),
             self.settings,
             self.random,
             now,
@@ -91,17 +91,19 @@
 
     def note_short(self, now: float) -> None:
         """Remember how much short work is in progress."""
-        loads = self.loads.values()
+        loads = self.server_loads.values()
         self.short_peak.record(
             sum(load.slots_in_use - load.long_work_slots(now) for load in loads), now
         )
 
     def has_room_for_long(self, now: float) -> bool:
         """Return whether one more piece of long work leaves enough slots clear."""
-        ready = [load for load in self.loads.values() if load.accepts_new_work(now)]
+        ready = [
+            load for load in self.server_loads.values() if load.accepts_new_work(now)
+        ]
         slots = sum(load.server.slots for load in ready)
         largest = max((load.server.slots for load in ready), default=0)
-        long = sum(load.long_work_slots(now) for load in self.loads.values())
+        long = sum(load.long_work_slots(now) for load in self.server_loads.values())
         clear = min(largest * self.settings.clear_servers, self.short_peak.peak(now))
         return long < max(slots - clear, 1)
 
@@ -112,7 +114,7 @@
             return True
         slots = sum(
             load.server.slots
-            for load in self.loads.values()
+            for load in self.server_loads.values()
             if is_in_preferred_zone(load, self.settings) and load.accepts_new_work(now)
         )
         if slots == 0:
@@ -122,7 +124,7 @@
     def expected_wait(self, now: float) -> float:
         """Return how long work that is held from now on will wait, in seconds."""
         open_loads = [
-            load for load in self.loads.values() if load.accepts_new_work(now)
+            load for load in self.server_loads.values() if load.accepts_new_work(now)
         ]
         slots = sum(
             load.server.slots - load.long_work_slots(now) for load in open_loads
@@ -145,7 +147,7 @@
         if not self.line:
             return float("inf")
         times = [self.line.next_deadline()]
-        times += [load.next_slot_release(now) for load in self.loads.values()]
+        times += [load.next_slot_release(now) for load in self.server_loads.values()]
         times += self.spill_times(now)
         return min(times)
 
