--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -249,7 +249,7 @@
         size = pool.history.expected_class(work)
         retry = work.attempt > 0 or self.refused.contains(work.work_id, self.now)
         if not retry:
-            pool.budget.record_first_attempt()
+            pool.retry_budget.record_first_attempt()
         if not self.is_behind(size, pool):
             choice = pool.choose(size, self.now, self.now)
             if choice is not None:
@@ -277,7 +277,7 @@
         hold_s = pool.line.hold_s(self.now)
         if pool.expected_wait(self.now) > min(hold_s, work.deadline - self.now):
             return "wait-too-long"
-        if retry and not pool.budget.try_take_token():
+        if retry and not pool.retry_budget.try_take_token():
             return "retry-budget"
         return ""
 
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -40,14 +40,14 @@
         self.server_loads: dict[ServerId, ServerLoad] = {}
         self.line = WaitQueue(settings)
         self.history = RunTimeHistory(settings)
-        self.budget = RetryBudget(settings)
+        self.retry_budget = RetryBudget(settings)
         self.short_peak = RecentPeak(settings.clear_memory_ms / 1000.0)
 
     def use_settings(self, settings: PlacementSettings) -> None:
         """Bring other settings into force for everything known here."""
         self.settings = settings
         self.history.settings = settings
-        self.budget.settings = settings
+        self.retry_budget.settings = settings
         for load in self.server_loads.values():
             load.settings = settings
 
