Rename history to run_time_history

Says what the history is of.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py history run_time_history

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -246,7 +246,7 @@
 
     def admit(self, work: Work, pool: ServerPool) -> Outcome:
         """Place, hold or refuse new work."""
-        size = pool.history.expected_class(work)
+        size = pool.run_time_history.expected_class(work)
         retry = work.attempt > 0 or self.refused.contains(work.work_id, self.now)
         if not retry:
             pool.retry_budget.record_first_attempt()
@@ -344,7 +344,7 @@
         if answered:
             load.backoff_s = 0.0
             load.record_run_time(run_s)
-            self.pool(load.service).history.record_run_time(flow.caller, run_s)
+            self.pool(load.service).run_time_history.record_run_time(flow.caller, run_s)
 
     def forget(self, work_id: bytes, flow: Flow) -> None:
         """Stop counting the connection of some work."""
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -39,14 +39,14 @@
         self.random = random
         self.server_loads: dict[ServerId, ServerLoad] = {}
         self.line = WaitQueue(settings)
-        self.history = RunTimeHistory(settings)
+        self.run_time_history = RunTimeHistory(settings)
         self.retry_budget = RetryBudget(settings)
         self.short_peak = RecentPeak(settings.clear_memory_ms / 1000.0)
 
     def use_settings(self, settings: PlacementSettings) -> None:
         """Bring other settings into force for everything known here."""
         self.settings = settings
-        self.history.settings = settings
+        self.run_time_history.settings = settings
         self.retry_budget.settings = settings
         for load in self.server_loads.values():
             load.settings = settings
@@ -62,7 +62,9 @@
             if server.server in self.server_loads:
                 self.server_loads[server.server].server = server
             else:
-                load = ServerLoad(self.settings, self.service, server, self.history)
+                load = ServerLoad(
+                    self.settings, self.service, server, self.run_time_history
+                )
                 self.server_loads[server.server] = load
 
     def tidy(self, load: ServerLoad) -> None:
@@ -119,7 +121,9 @@
         )
         if slots == 0:
             return True
-        return (len(self.line) + 1) * self.history.mean_short_run_s / slots > link_s
+        return (
+            len(self.line) + 1
+        ) * self.run_time_history.mean_short_run_s / slots > link_s
 
     def expected_wait(self, now: float) -> float:
         """Return how long work that is held from now on will wait, in seconds."""
@@ -129,7 +133,7 @@
         slots = sum(
             load.server.slots - load.long_work_slots(now) for load in open_loads
         )
-        return len(self.line) * self.history.mean_short_run_s / max(slots, 1)
+        return len(self.line) * self.run_time_history.mean_short_run_s / max(slots, 1)
 
     def next_to_place(self, now: float) -> tuple[QueuedWork, SelectedServer] | None:
         """Return the held work that can be placed now and its server."""
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -118,7 +118,7 @@
     slow = made.servers[server(1).server]
     for name in made.servers.values():
         name.mean_short_run_s = 0.02
-    made.pools[SERVICE].history.mean_short_run_s = 0.02
+    made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     slow.mean_short_run_s = 0.04
     servers = [
         made.handle(Submit(work(bytes([number]))), 0.0)[0].server for number in range(3)
@@ -194,7 +194,7 @@
     [placed] = made.handle(Submit(work(b"a", caller="printer")), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     made.handle(Answered(b"a", placed.server), 0.9)
-    history = made.pools[SERVICE].history
+    history = made.pools[SERVICE].run_time_history
     assert history.expected_class(work(b"b", caller="printer")) is SizeClass.LONG
     assert history.expected_class(work(b"c", caller="other")) is SizeClass.UNKNOWN
 
@@ -272,7 +272,7 @@
 def test_only_a_far_slot_about_to_be_answered_is_given_again(bind_ahead, age_s, placed):
     far = server(2, zone=ZoneName("lpg-a"))
     made = admission(far, bind_ahead=bind_ahead, **ZONED)
-    made.pools[SERVICE].history.mean_short_run_s = 0.02
+    made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Started(b"a", far.server), 0.0)
     [outcome] = made.handle(Submit(work(b"b")), age_s)
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -211,7 +211,9 @@
         assert set(self.made.flows) == set(self.open)
         assert len(pool.line) == len(self.pending) <= SETTINGS.queue_limit
         assert len(pool.line.deadlines) <= 2 * len(pool.line) + 17
-        assert len(pool.history.long_share_by_caller) <= SETTINGS.history_callers
+        assert (
+            len(pool.run_time_history.long_share_by_caller) <= SETTINGS.history_callers
+        )
         assert len(self.made.lost.ended_at) <= SETTINGS.remembered_work
         assert len(self.made.refused.ended_at) <= SETTINGS.remembered_work
         connections = sum(load.open_connections for load in self.made.servers.values())
