Rename short_peak to short_work_peak

Says what the peak is of.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py short_peak short_work_peak

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -41,7 +41,7 @@
         self.line = WaitQueue(settings)
         self.run_time_history = RunTimeHistory(settings)
         self.retry_budget = RetryBudget(settings)
-        self.short_peak = RecentPeak(settings.clear_memory_ms / 1000.0)
+        self.short_work_peak = RecentPeak(settings.clear_memory_ms / 1000.0)
 
     def use_settings(self, settings: PlacementSettings) -> None:
         """Bring other settings into force for everything known here."""
@@ -94,7 +94,7 @@
     def note_short(self, now: float) -> None:
         """Remember how much short work is in progress."""
         loads = self.server_loads.values()
-        self.short_peak.record(
+        self.short_work_peak.record(
             sum(load.slots_in_use - load.long_work_slots(now) for load in loads), now
         )
 
@@ -106,7 +106,9 @@
         slots = sum(load.server.slots for load in ready)
         largest = max((load.server.slots for load in ready), default=0)
         long = sum(load.long_work_slots(now) for load in self.server_loads.values())
-        clear = min(largest * self.settings.clear_servers, self.short_peak.peak(now))
+        clear = min(
+            largest * self.settings.clear_servers, self.short_work_peak.peak(now)
+        )
         return long < max(slots - clear, 1)
 
     def may_spill(self, since: float, now: float) -> bool:
