Rename change to update_servers

Says what changes.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py change update_servers

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -205,7 +205,7 @@
     @on.register
     def _(self, event: ServersChanged) -> list[Outcome]:
         pool = self.pool(event.service)
-        pool.change(event.servers)
+        pool.update_servers(event.servers)
         for name, load in pool.server_loads.items():
             self.servers[name] = load
         for name, load in list(self.servers.items()):
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -51,7 +51,7 @@
         for load in self.server_loads.values():
             load.settings = settings
 
-    def change(self, servers: tuple[Server, ...]) -> None:
+    def update_servers(self, servers: tuple[Server, ...]) -> None:
         """Take in the announced servers; one that is gone gets nothing new."""
         named = {server.server for server in servers}
         for name, load in list(self.server_loads.items()):
