Rename name to server_id

The variable is a server id.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py name server_id

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -54,8 +54,8 @@
     def update_servers(self, servers: tuple[Server, ...]) -> None:
         """Take in the announced servers; one that is gone gets nothing new."""
         announced_ids = {server.server for server in servers}
-        for name, load in list(self.server_loads.items()):
-            if name not in announced_ids:
+        for server_id, load in list(self.server_loads.items()):
+            if server_id not in announced_ids:
                 load.server = load.server._replace(state=ServerState.STALE)
                 self.tidy(load)
         for server in servers:
