--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -350,7 +350,7 @@
         """Stop counting the connection of some work."""
         del self.flows[work_id]
         flow.server_load.open_connections -= 1
-        self.pool(flow.server_load.service).tidy(flow.server_load)
+        self.pool(flow.server_load.service).remove_if_unused(flow.server_load)
 
     def lose(self, work_id: bytes, flow: Flow) -> list[Outcome]:
         """End placed work whose fate is not known."""
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -57,7 +57,7 @@
         for server_id, load in list(self.server_loads.items()):
             if server_id not in announced_ids:
                 load.server = load.server._replace(state=ServerState.STALE)
-                self.tidy(load)
+                self.remove_if_unused(load)
         for server in servers:
             if server.server in self.server_loads:
                 self.server_loads[server.server].server = server
@@ -67,7 +67,7 @@
                 )
                 self.server_loads[server.server] = load
 
-    def tidy(self, load: ServerLoad) -> None:
+    def remove_if_unused(self, load: ServerLoad) -> None:
         """Forget a server that is gone and holds no flow."""
         if load.server.state is ServerState.STALE and load.open_connections == 0:
             self.server_loads.pop(load.server.server, None)
