--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -92,7 +92,7 @@
     def digest(self, service: ServiceName) -> tuple[SlotDigest, ...]:
         """Return what the backup of a service has to know, an entry a server."""
         pool = self.pool(service)
-        pool.expire(self.now)
+        pool.release_expired_slots(self.now)
         return tuple(load.digest(self.now) for load in pool.server_loads.values())
 
     def restore(
@@ -137,7 +137,7 @@
     def _(self, event: Submit) -> list[Outcome]:
         work = event.work
         pool = self.pool(work.service)
-        pool.expire(self.now)
+        pool.release_expired_slots(self.now)
         known = self.answer_again(work, pool)
         if known is not None:
             return [*known, *self.drain(pool)]
@@ -283,7 +283,7 @@
 
     def drain(self, pool: ServerPool) -> list[Outcome]:
         """Refuse held work whose time is over and place what can be placed."""
-        pool.expire(self.now)
+        pool.release_expired_slots(self.now)
         outcomes: list[Outcome] = []
         if not pool.line:
             return outcomes
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -72,7 +72,7 @@
         if load.server.state is ServerState.STALE and load.open_connections == 0:
             self.server_loads.pop(load.server.server, None)
 
-    def expire(self, now: float) -> None:
+    def release_expired_slots(self, now: float) -> None:
         """Free slots whose time is over."""
         for load in self.server_loads.values():
             load.release_expired_slots(now)
