Rename choose to choose_server

Says what is chosen.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py choose choose_server

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -251,7 +251,7 @@
         if not retry:
             pool.retry_budget.record_first_attempt()
         if not self.is_behind(size, pool):
-            choice = pool.choose(size, self.now, self.now)
+            choice = pool.choose_server(size, self.now, self.now)
             if choice is not None:
                 return self.place(QueuedWork(work, size, self.now, self.now), choice)
         refusal = self.refusal(work, pool, retry=retry)
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -77,7 +77,7 @@
         for load in self.server_loads.values():
             load.release_expired_slots(now)
 
-    def choose(
+    def choose_server(
         self, size: SizeClass, since: float, now: float
     ) -> SelectedServer | None:
         """Return a server for work held since some time, if it may be placed now."""
@@ -143,7 +143,7 @@
             waiting = next(iter(line.values()), None)
             if waiting is None:
                 continue
-            choice = self.choose(waiting.size, waiting.since, now)
+            choice = self.choose_server(waiting.size, waiting.since, now)
             if choice is not None:
                 return waiting, choice
         return None
