--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -302,7 +302,7 @@
         self.bind(work.work_id, flow)
         choice.server_load.reserve_slot(work.work_id, flow, self.now)
         if waiting.size is not SizeClass.LONG:
-            self.pool(work.service).note_short(self.now)
+            self.pool(work.service).record_short_work(self.now)
         return Placed(
             work.work_id,
             work.service,
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -91,7 +91,7 @@
             allow_other_zones=self.may_spill(since, now),
         )
 
-    def note_short(self, now: float) -> None:
+    def record_short_work(self, now: float) -> None:
         """Remember how much short work is in progress."""
         loads = self.server_loads.values()
         self.short_work_peak.record(
