Rename has_room_for_long to has_slots_for_long_work

Says what room is meant.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py has_room_for_long has_slots_for_long_work

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -81,7 +81,7 @@
         self, size: SizeClass, since: float, now: float
     ) -> SelectedServer | None:
         """Return a server for work held since some time, if it may be placed now."""
-        if size is SizeClass.LONG and not self.has_room_for_long(now):
+        if size is SizeClass.LONG and not self.has_slots_for_long_work(now):
             return None
         return select_server(
             self.server_loads.values(),
@@ -98,7 +98,7 @@
             sum(load.slots_in_use - load.long_work_slots(now) for load in loads), now
         )
 
-    def has_room_for_long(self, now: float) -> bool:
+    def has_slots_for_long_work(self, now: float) -> bool:
         """Return whether one more piece of long work leaves enough slots clear."""
         ready = [
             load for load in self.server_loads.values() if load.accepts_new_work(now)
