Rename ready to accepting_loads

The servers that accept new work.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py ready accepting_loads

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -100,11 +100,11 @@
 
     def has_slots_for_long_work(self, now: float) -> bool:
         """Return whether one more piece of long work leaves enough slots clear."""
-        ready = [
+        accepting_loads = [
             load for load in self.server_loads.values() if load.accepts_new_work(now)
         ]
-        slots = sum(load.server.slots for load in ready)
-        largest = max((load.server.slots for load in ready), default=0)
+        slots = sum(load.server.slots for load in accepting_loads)
+        largest = max((load.server.slots for load in accepting_loads), default=0)
         long = sum(load.long_work_slots(now) for load in self.server_loads.values())
         clear = min(
             largest * self.settings.clear_servers, self.short_work_peak.peak(now)
