Rename largest to largest_server_slots

Says what is largest.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py largest largest_server_slots

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -104,10 +104,13 @@
             load for load in self.server_loads.values() if load.accepts_new_work(now)
         ]
         slots = sum(load.server.slots for load in accepting_loads)
-        largest = max((load.server.slots for load in accepting_loads), default=0)
+        largest_server_slots = max(
+            (load.server.slots for load in accepting_loads), default=0
+        )
         long = sum(load.long_work_slots(now) for load in self.server_loads.values())
         clear = min(
-            largest * self.settings.clear_servers, self.short_work_peak.peak(now)
+            largest_server_slots * self.settings.clear_servers,
+            self.short_work_peak.peak(now),
         )
         return long < max(slots - clear, 1)
 
