Rename clear to slots_kept_clear

Says what is counted.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py clear slots_kept_clear

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -110,11 +110,11 @@
         long_slots_in_use = sum(
             load.long_work_slots(now) for load in self.server_loads.values()
         )
-        clear = min(
+        slots_kept_clear = min(
             largest_server_slots * self.settings.clear_servers,
             self.short_work_peak.peak(now),
         )
-        return long_slots_in_use < max(slots - clear, 1)
+        return long_slots_in_use < max(slots - slots_kept_clear, 1)
 
     def may_spill(self, since: float, now: float) -> bool:
         """Return whether waiting for a near slot costs more than the link."""
