Rename may_spill to may_spill_to_other_zone

Says where the work would go.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py may_spill may_spill_to_other_zone

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -88,7 +88,7 @@
             self.settings,
             self.random,
             now,
-            allow_other_zones=self.may_spill(since, now),
+            allow_other_zones=self.may_spill_to_other_zone(since, now),
         )
 
     def record_short_work(self, now: float) -> None:
@@ -116,7 +116,7 @@
         )
         return long_slots_in_use < max(slots - slots_kept_clear, 1)
 
-    def may_spill(self, since: float, now: float) -> bool:
+    def may_spill_to_other_zone(self, since: float, now: float) -> bool:
         """Return whether waiting for a near slot costs more than the link."""
         link_s = self.settings.link_cost_ms / 1000.0
         if now >= since + link_s:
