Rename since to queued_at

Says which event the time is of.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py since queued_at

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -116,10 +116,10 @@
         )
         return long_slots_in_use < max(slots - slots_kept_clear, 1)
 
-    def may_spill_to_other_zone(self, since: float, now: float) -> bool:
+    def may_spill_to_other_zone(self, queued_at: float, now: float) -> bool:
         """Return whether waiting for a near slot costs more than the link."""
         link_s = self.settings.link_cost_ms / 1000.0
-        if now >= since + link_s:
+        if now >= queued_at + link_s:
             return True
         slots = sum(
             load.server.slots
