Rename expected_wait to expected_wait_s

Names the unit.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py expected_wait expected_wait_s

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -275,7 +275,7 @@
         if len(pool.line) >= self.settings.queue_limit:
             return "queue-full"
         hold_s = pool.line.hold_s(self.now)
-        if pool.expected_wait(self.now) > min(hold_s, work.deadline - self.now):
+        if pool.expected_wait_s(self.now) > min(hold_s, work.deadline - self.now):
             return "wait-too-long"
         if retry and not pool.retry_budget.try_take_token():
             return "retry-budget"
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -132,7 +132,7 @@
             len(self.line) + 1
         ) * self.run_time_history.mean_short_run_s / slots > link_s
 
-    def expected_wait(self, now: float) -> float:
+    def expected_wait_s(self, now: float) -> float:
         """Return how long work that is held from now on will wait, in seconds."""
         open_loads = [
             load for load in self.server_loads.values() if load.accepts_new_work(now)
