--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -134,11 +134,11 @@
 
     def expected_wait_s(self, now: float) -> float:
         """Return how long work that is held from now on will wait, in seconds."""
-        open_loads = [
+        accepting_loads = [
             load for load in self.server_loads.values() if load.accepts_new_work(now)
         ]
         slots = sum(
-            load.server.slots - load.long_work_slots(now) for load in open_loads
+            load.server.slots - load.long_work_slots(now) for load in accepting_loads
         )
         return len(self.line) * self.run_time_history.mean_short_run_s / max(slots, 1)
 
