--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -287,7 +287,7 @@
         outcomes: list[Outcome] = []
         if not pool.line:
             return outcomes
-        while (found := pool.next_to_place(self.now)) is not None:
+        while (found := pool.next_placeable_work(self.now)) is not None:
             waiting, choice = found
             pool.line.remove(waiting.work.work_id)
             outcomes.append(self.place(waiting, choice))
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -142,7 +142,9 @@
         )
         return len(self.line) * self.run_time_history.mean_short_run_s / max(slots, 1)
 
-    def next_to_place(self, now: float) -> tuple[QueuedWork, SelectedServer] | None:
+    def next_placeable_work(
+        self, now: float
+    ) -> tuple[QueuedWork, SelectedServer] | None:
         """Return the held work that can be placed now and its server."""
         for line in self.line.lines():
             waiting = next(iter(line.values()), None)
