--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -146,8 +146,8 @@
         self, now: float
     ) -> tuple[QueuedWork, SelectedServer] | None:
         """Return the held work that can be placed now and its server."""
-        for line in self.line.lines():
-            waiting = next(iter(line.values()), None)
+        for queue in self.line.lines():
+            waiting = next(iter(queue.values()), None)
             if waiting is None:
                 continue
             choice = self.choose_server(waiting.size, waiting.since, now)
