Rename waiting to head

The entry is the head of its queue.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py waiting head

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -147,12 +147,12 @@
     ) -> tuple[QueuedWork, SelectedServer] | None:
         """Return the held work that can be placed now and its server."""
         for queue in self.line.lines():
-            waiting = next(iter(queue.values()), None)
-            if waiting is None:
+            head = next(iter(queue.values()), None)
+            if head is None:
                 continue
-            choice = self.choose_server(waiting.size, waiting.since, now)
+            choice = self.choose_server(head.size, head.since, now)
             if choice is not None:
-                return waiting, choice
+                return head, choice
         return None
 
     def next_deadline(self, now: float) -> float:
