Rename choice to selected

The variable is a SelectedServer.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py choice selected

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -150,9 +150,9 @@
             head = next(iter(queue.values()), None)
             if head is None:
                 continue
-            choice = self.choose_server(head.size, head.since, now)
-            if choice is not None:
-                return head, choice
+            selected = self.choose_server(head.size, head.since, now)
+            if selected is not None:
+                return head, selected
         return None
 
     def next_deadline(self, now: float) -> float:
