Rename spill_times to next_spill_times

Says that only future times are returned.

Rename: libs/placement/src/kumquatmux_placement/server_pool.py spill_times next_spill_times

--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -161,10 +161,10 @@
             return float("inf")
         times = [self.line.next_deadline()]
         times += [load.next_slot_release(now) for load in self.server_loads.values()]
-        times += self.spill_times(now)
+        times += self.next_spill_times(now)
         return min(times)
 
-    def spill_times(self, now: float) -> list[float]:
+    def next_spill_times(self, now: float) -> list[float]:
         """Return when the first held work may go to another zone, in seconds."""
         if not self.settings.zone:
             return []
