--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -169,6 +169,8 @@
         if not self.settings.zone:
             return []
         link_s = self.settings.link_cost_ms / 1000.0
-        firsts = [next(iter(line.values()), None) for line in self.line.lines()]
-        times = [waiting.since + link_s for waiting in firsts if waiting is not None]
+        queue_heads = [next(iter(line.values()), None) for line in self.line.lines()]
+        times = [
+            waiting.since + link_s for waiting in queue_heads if waiting is not None
+        ]
         return [time for time in times if time > now]
