Rename since to queued_at

Says which event the time is of.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py since queued_at

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -292,7 +292,9 @@
             pool.line.remove(waiting.work.work_id)
             outcomes.append(self.place(waiting, choice))
         for waiting in pool.line.expired(self.now):
-            outcomes.append(self.refuse(waiting.work, "held-too-long", waiting.since))
+            outcomes.append(
+                self.refuse(waiting.work, "held-too-long", waiting.queued_at)
+            )
         return outcomes
 
     def place(self, waiting: QueuedWork, choice: SelectedServer) -> Outcome:
@@ -309,7 +311,7 @@
             choice.server_load.server.server,
             choice.reason,
             choice.candidate_count,
-            self.now - waiting.since,
+            self.now - waiting.queued_at,
         )
 
     def refuse(self, work: Work, reason: str, since: float) -> Outcome:
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -150,7 +150,7 @@
             head = next(iter(queue.values()), None)
             if head is None:
                 continue
-            selected = self.choose_server(head.size, head.since, now)
+            selected = self.choose_server(head.size, head.queued_at, now)
             if selected is not None:
                 return head, selected
         return None
@@ -171,6 +171,6 @@
         link_s = self.settings.link_cost_ms / 1000.0
         queue_heads = [next(iter(line.values()), None) for line in self.line.lines()]
         times = [
-            waiting.since + link_s for waiting in queue_heads if waiting is not None
+            waiting.queued_at + link_s for waiting in queue_heads if waiting is not None
         ]
         return [time for time in times if time > now]
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -22,7 +22,7 @@
 
     work: Work
     size: SizeClass
-    since: float
+    queued_at: float
     until: float
 
 
@@ -59,7 +59,7 @@
 
     def add(self, waiting: QueuedWork) -> None:
         """Put work at the end of its line."""
-        self.standing_since = min(self.standing_since, waiting.since)
+        self.standing_since = min(self.standing_since, waiting.queued_at)
         line = self.long if waiting.size is SizeClass.LONG else self.short
         line[waiting.work.work_id] = waiting
         heapq.heappush(self.deadlines, (waiting.until, waiting.work.work_id))
@@ -89,7 +89,7 @@
         """Return when held work may next be refused, in seconds."""
         crest_s = min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
         crest_from = self.standing_since + self.settings.crest_after_ms / 1000.0
-        oldest = min((first.since for first in self.firsts()), default=float("inf"))
+        oldest = min((first.queued_at for first in self.firsts()), default=float("inf"))
         return min(self.next_own_deadline(), max(oldest + crest_s, crest_from))
 
     def firsts(self) -> list[QueuedWork]:
@@ -120,7 +120,7 @@
         gone: list[QueuedWork] = []
         hold_s = self.hold_s(now)
         for waiting in self.firsts():
-            while waiting.since + hold_s <= now:
+            while waiting.queued_at + hold_s <= now:
                 self.remove(waiting.work.work_id)
                 gone.append(waiting)
                 line = self.long if waiting.size is SizeClass.LONG else self.short
