Rename until to expires_at

Says what happens at that time.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py until expires_at

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -239,7 +239,7 @@
             return [placed]
         waiting = pool.line.get(work.work_id)
         if waiting is not None:
-            return [Held(work.work_id, work.service, waiting.until)]
+            return [Held(work.work_id, work.service, waiting.expires_at)]
         if not work.repeatable and self.lost.contains(work.work_id, self.now):
             return [Unknown(work.work_id, work.service, ServerId(""))]
         return None
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -23,7 +23,7 @@
     work: Work
     size: SizeClass
     queued_at: float
-    until: float
+    expires_at: float
 
 
 class WaitQueue:
@@ -62,7 +62,7 @@
         self.standing_since = min(self.standing_since, waiting.queued_at)
         line = self.long if waiting.size is SizeClass.LONG else self.short
         line[waiting.work.work_id] = waiting
-        heapq.heappush(self.deadlines, (waiting.until, waiting.work.work_id))
+        heapq.heappush(self.deadlines, (waiting.expires_at, waiting.work.work_id))
 
     def remove(self, work_id: bytes) -> QueuedWork | None:
         """Take work out and return it, if it was held."""
@@ -76,7 +76,9 @@
     def compact(self) -> None:
         """Drop the deadlines of work that is gone."""
         held = [*self.short.values(), *self.long.values()]
-        self.deadlines = [(waiting.until, waiting.work.work_id) for waiting in held]
+        self.deadlines = [
+            (waiting.expires_at, waiting.work.work_id) for waiting in held
+        ]
         heapq.heapify(self.deadlines)
 
     def hold_s(self, now: float) -> float:
@@ -101,7 +103,7 @@
         while self.deadlines:
             until, work_id = self.deadlines[0]
             waiting = self.get(work_id)
-            if waiting is not None and waiting.until == until:
+            if waiting is not None and waiting.expires_at == until:
                 return until
             heapq.heappop(self.deadlines)
         return float("inf")
