--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -300,10 +300,12 @@
     def place(self, waiting: QueuedWork, choice: SelectedServer) -> Outcome:
         """Bind work to a server for good and take a slot for it."""
         work = waiting.work
-        flow = Flow(choice.server_load, work.caller, waiting.size, work.repeatable)
+        flow = Flow(
+            choice.server_load, work.caller, waiting.run_time_class, work.repeatable
+        )
         self.bind(work.work_id, flow)
         choice.server_load.reserve_slot(work.work_id, flow, self.now)
-        if waiting.size is not SizeClass.LONG:
+        if waiting.run_time_class is not SizeClass.LONG:
             self.pool(work.service).record_short_work(self.now)
         return Placed(
             work.work_id,
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -150,7 +150,7 @@
             head = next(iter(queue.values()), None)
             if head is None:
                 continue
-            selected = self.choose_server(head.size, head.queued_at, now)
+            selected = self.choose_server(head.run_time_class, head.queued_at, now)
             if selected is not None:
                 return head, selected
         return None
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -21,7 +21,7 @@
     """
 
     work: Work
-    size: SizeClass
+    run_time_class: SizeClass
     queued_at: float
     expires_at: float
 
@@ -60,7 +60,7 @@
     def add(self, waiting: QueuedWork) -> None:
         """Put work at the end of its line."""
         self.standing_since = min(self.standing_since, waiting.queued_at)
-        line = self.long if waiting.size is SizeClass.LONG else self.short
+        line = self.long if waiting.run_time_class is SizeClass.LONG else self.short
         line[waiting.work.work_id] = waiting
         heapq.heappush(self.deadlines, (waiting.expires_at, waiting.work.work_id))
 
@@ -125,7 +125,11 @@
             while waiting.queued_at + hold_s <= now:
                 self.remove(waiting.work.work_id)
                 gone.append(waiting)
-                line = self.long if waiting.size is SizeClass.LONG else self.short
+                line = (
+                    self.long
+                    if waiting.run_time_class is SizeClass.LONG
+                    else self.short
+                )
                 if not line:
                     break
                 waiting = next(iter(line.values()))
