--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -41,7 +41,7 @@
 
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
-        self.standing_since = float("inf")
+        self.nonempty_since = float("inf")
         self.short: OrderedDict[bytes, QueuedWork] = OrderedDict()
         self.long: OrderedDict[bytes, QueuedWork] = OrderedDict()
         self.deadlines: list[tuple[float, bytes]] = []
@@ -59,7 +59,7 @@
 
     def add(self, waiting: QueuedWork) -> None:
         """Put work at the end of its line."""
-        self.standing_since = min(self.standing_since, waiting.queued_at)
+        self.nonempty_since = min(self.nonempty_since, waiting.queued_at)
         line = self.long if waiting.run_time_class is SizeClass.LONG else self.short
         line[waiting.work.work_id] = waiting
         heapq.heappush(self.deadlines, (waiting.expires_at, waiting.work.work_id))
@@ -68,7 +68,7 @@
         """Take work out and return it, if it was held."""
         waiting = self.short.pop(work_id, None) or self.long.pop(work_id, None)
         if not self:
-            self.standing_since = float("inf")
+            self.nonempty_since = float("inf")
         if waiting is not None and len(self.deadlines) > 2 * len(self) + 16:
             self.compact()
         return waiting
@@ -83,14 +83,14 @@
 
     def hold_s(self, now: float) -> float:
         """Return for how long work is held at most at a time, in seconds."""
-        if now >= self.standing_since + self.settings.crest_after_ms / 1000.0:
+        if now >= self.nonempty_since + self.settings.crest_after_ms / 1000.0:
             return min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
         return self.settings.hold_ms / 1000.0
 
     def next_deadline(self) -> float:
         """Return when held work may next be refused, in seconds."""
         crest_s = min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
-        crest_from = self.standing_since + self.settings.crest_after_ms / 1000.0
+        crest_from = self.nonempty_since + self.settings.crest_after_ms / 1000.0
         oldest = min((first.queued_at for first in self.firsts()), default=float("inf"))
         return min(self.next_own_deadline(), max(oldest + crest_s, crest_from))
 
