--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -43,32 +43,36 @@
         self.settings = settings
         self.nonempty_since = float("inf")
         self.short_queue: OrderedDict[bytes, QueuedWork] = OrderedDict()
-        self.long: OrderedDict[bytes, QueuedWork] = OrderedDict()
+        self.long_queue: OrderedDict[bytes, QueuedWork] = OrderedDict()
         self.deadlines: list[tuple[float, bytes]] = []
 
     def __len__(self) -> int:
-        return len(self.short_queue) + len(self.long)
+        return len(self.short_queue) + len(self.long_queue)
 
     def lines(self) -> tuple[OrderedDict[bytes, QueuedWork], ...]:
         """Return the held work by line, the one that goes first in front."""
-        return self.short_queue, self.long
+        return self.short_queue, self.long_queue
 
     def get(self, work_id: bytes) -> QueuedWork | None:
         """Return the held work of that name, if any."""
-        return self.short_queue.get(work_id) or self.long.get(work_id)
+        return self.short_queue.get(work_id) or self.long_queue.get(work_id)
 
     def add(self, waiting: QueuedWork) -> None:
         """Put work at the end of its line."""
         self.nonempty_since = min(self.nonempty_since, waiting.queued_at)
         line = (
-            self.long if waiting.run_time_class is SizeClass.LONG else self.short_queue
+            self.long_queue
+            if waiting.run_time_class is SizeClass.LONG
+            else self.short_queue
         )
         line[waiting.work.work_id] = waiting
         heapq.heappush(self.deadlines, (waiting.expires_at, waiting.work.work_id))
 
     def remove(self, work_id: bytes) -> QueuedWork | None:
         """Take work out and return it, if it was held."""
-        waiting = self.short_queue.pop(work_id, None) or self.long.pop(work_id, None)
+        waiting = self.short_queue.pop(work_id, None) or self.long_queue.pop(
+            work_id, None
+        )
         if not self:
             self.nonempty_since = float("inf")
         if waiting is not None and len(self.deadlines) > 2 * len(self) + 16:
@@ -77,7 +81,7 @@
 
     def compact(self) -> None:
         """Drop the deadlines of work that is gone."""
-        held = [*self.short_queue.values(), *self.long.values()]
+        held = [*self.short_queue.values(), *self.long_queue.values()]
         self.deadlines = [
             (waiting.expires_at, waiting.work.work_id) for waiting in held
         ]
@@ -128,7 +132,7 @@
                 self.remove(waiting.work.work_id)
                 gone.append(waiting)
                 line = (
-                    self.long
+                    self.long_queue
                     if waiting.run_time_class is SizeClass.LONG
                     else self.short_queue
                 )
