Rename deadlines to expiry_heap

The attribute is a heap of expiry times.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py deadlines expiry_heap

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -44,7 +44,7 @@
         self.nonempty_since = float("inf")
         self.short_queue: OrderedDict[bytes, QueuedWork] = OrderedDict()
         self.long_queue: OrderedDict[bytes, QueuedWork] = OrderedDict()
-        self.deadlines: list[tuple[float, bytes]] = []
+        self.expiry_heap: list[tuple[float, bytes]] = []
 
     def __len__(self) -> int:
         return len(self.short_queue) + len(self.long_queue)
@@ -66,7 +66,7 @@
             else self.short_queue
         )
         line[waiting.work.work_id] = waiting
-        heapq.heappush(self.deadlines, (waiting.expires_at, waiting.work.work_id))
+        heapq.heappush(self.expiry_heap, (waiting.expires_at, waiting.work.work_id))
 
     def remove(self, work_id: bytes) -> QueuedWork | None:
         """Take work out and return it, if it was held."""
@@ -75,17 +75,17 @@
         )
         if not self:
             self.nonempty_since = float("inf")
-        if waiting is not None and len(self.deadlines) > 2 * len(self) + 16:
+        if waiting is not None and len(self.expiry_heap) > 2 * len(self) + 16:
             self.compact()
         return waiting
 
     def compact(self) -> None:
         """Drop the deadlines of work that is gone."""
         held = [*self.short_queue.values(), *self.long_queue.values()]
-        self.deadlines = [
+        self.expiry_heap = [
             (waiting.expires_at, waiting.work.work_id) for waiting in held
         ]
-        heapq.heapify(self.deadlines)
+        heapq.heapify(self.expiry_heap)
 
     def hold_s(self, now: float) -> float:
         """Return for how long work is held at most at a time, in seconds."""
@@ -106,19 +106,19 @@
 
     def next_own_deadline(self) -> float:
         """Return the first deadline of held work, infinite without any."""
-        while self.deadlines:
-            until, work_id = self.deadlines[0]
+        while self.expiry_heap:
+            until, work_id = self.expiry_heap[0]
             waiting = self.get(work_id)
             if waiting is not None and waiting.expires_at == until:
                 return until
-            heapq.heappop(self.deadlines)
+            heapq.heappop(self.expiry_heap)
         return float("inf")
 
     def expired(self, now: float) -> list[QueuedWork]:
         """Take out and return the work whose deadline has come."""
         gone: list[QueuedWork] = []
         while self.next_own_deadline() <= now:
-            waiting = self.remove(self.deadlines[0][1])
+            waiting = self.remove(self.expiry_heap[0][1])
             if waiting is not None:
                 gone.append(waiting)
         return [*gone, *self.crested(now)]
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -210,7 +210,7 @@
         pool = self.made.pool(SERVICE)
         assert set(self.made.flows) == set(self.open)
         assert len(pool.line) == len(self.pending) <= SETTINGS.queue_limit
-        assert len(pool.line.deadlines) <= 2 * len(pool.line) + 17
+        assert len(pool.line.expiry_heap) <= 2 * len(pool.line) + 17
         assert (
             len(pool.run_time_history.long_share_by_caller) <= SETTINGS.history_callers
         )
