--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -146,7 +146,7 @@
         self, now: float
     ) -> tuple[QueuedWork, SelectedServer] | None:
         """Return the held work that can be placed now and its server."""
-        for queue in self.line.lines():
+        for queue in self.line.queues():
             head = next(iter(queue.values()), None)
             if head is None:
                 continue
@@ -169,7 +169,7 @@
         if not self.settings.zone:
             return []
         link_s = self.settings.link_cost_ms / 1000.0
-        queue_heads = [next(iter(line.values()), None) for line in self.line.lines()]
+        queue_heads = [next(iter(line.values()), None) for line in self.line.queues()]
         times = [
             waiting.queued_at + link_s for waiting in queue_heads if waiting is not None
         ]
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -49,7 +49,7 @@
     def __len__(self) -> int:
         return len(self.short_queue) + len(self.long_queue)
 
-    def lines(self) -> tuple[OrderedDict[bytes, QueuedWork], ...]:
+    def queues(self) -> tuple[OrderedDict[bytes, QueuedWork], ...]:
         """Return the held work by line, the one that goes first in front."""
         return self.short_queue, self.long_queue
 
@@ -102,7 +102,7 @@
 
     def firsts(self) -> list[QueuedWork]:
         """Return the oldest work of each line."""
-        return [next(iter(line.values())) for line in self.lines() if line]
+        return [next(iter(line.values())) for line in self.queues() if line]
 
     def next_own_deadline(self) -> float:
         """Return the first deadline of held work, infinite without any."""
