--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -258,7 +258,7 @@
         if refusal:
             return self.refuse(work, refusal, self.now)
         until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
-        pool.line.add(QueuedWork(work, size, self.now, until))
+        pool.line.enqueue(QueuedWork(work, size, self.now, until))
         return Held(work.work_id, work.service, until)
 
     def is_behind(self, size: SizeClass, pool: ServerPool) -> bool:
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -57,7 +57,7 @@
         """Return the held work of that name, if any."""
         return self.short_queue.get(work_id) or self.long_queue.get(work_id)
 
-    def add(self, waiting: QueuedWork) -> None:
+    def enqueue(self, waiting: QueuedWork) -> None:
         """Put work at the end of its line."""
         self.nonempty_since = min(self.nonempty_since, waiting.queued_at)
         line = (
