Rename waiting to queued

The parameter is queued work.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py waiting queued

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -57,16 +57,16 @@
         """Return the held work of that name, if any."""
         return self.short_queue.get(work_id) or self.long_queue.get(work_id)
 
-    def enqueue(self, waiting: QueuedWork) -> None:
+    def enqueue(self, queued: QueuedWork) -> None:
         """Put work at the end of its line."""
-        self.nonempty_since = min(self.nonempty_since, waiting.queued_at)
+        self.nonempty_since = min(self.nonempty_since, queued.queued_at)
         line = (
             self.long_queue
-            if waiting.run_time_class is SizeClass.LONG
+            if queued.run_time_class is SizeClass.LONG
             else self.short_queue
         )
-        line[waiting.work.work_id] = waiting
-        heapq.heappush(self.expiry_heap, (waiting.expires_at, waiting.work.work_id))
+        line[queued.work.work_id] = queued
+        heapq.heappush(self.expiry_heap, (queued.expires_at, queued.work.work_id))
 
     def remove(self, work_id: bytes) -> QueuedWork | None:
         """Take work out and return it, if it was held."""
