Rename waiting to removed

The variable is the removed entry.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py waiting removed

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -70,14 +70,14 @@
 
     def remove(self, work_id: bytes) -> QueuedWork | None:
         """Take work out and return it, if it was held."""
-        waiting = self.short_queue.pop(work_id, None) or self.long_queue.pop(
+        removed = self.short_queue.pop(work_id, None) or self.long_queue.pop(
             work_id, None
         )
         if not self:
             self.nonempty_since = float("inf")
-        if waiting is not None and len(self.expiry_heap) > 2 * len(self) + 16:
+        if removed is not None and len(self.expiry_heap) > 2 * len(self) + 16:
             self.compact()
-        return waiting
+        return removed
 
     def compact(self) -> None:
         """Drop the deadlines of work that is gone."""
