--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -76,10 +76,10 @@
         if not self:
             self.nonempty_since = float("inf")
         if removed is not None and len(self.expiry_heap) > 2 * len(self) + 16:
-            self.compact()
+            self.compact_expiry_heap()
         return removed
 
-    def compact(self) -> None:
+    def compact_expiry_heap(self) -> None:
         """Drop the deadlines of work that is gone."""
         held = [*self.short_queue.values(), *self.long_queue.values()]
         self.expiry_heap = [
