Rename held to queued_work

The variable holds all queued work.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py held queued_work

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -81,9 +81,9 @@
 
     def compact_expiry_heap(self) -> None:
         """Drop the deadlines of work that is gone."""
-        held = [*self.short_queue.values(), *self.long_queue.values()]
+        queued_work = [*self.short_queue.values(), *self.long_queue.values()]
         self.expiry_heap = [
-            (waiting.expires_at, waiting.work.work_id) for waiting in held
+            (waiting.expires_at, waiting.work.work_id) for waiting in queued_work
         ]
         heapq.heapify(self.expiry_heap)
 
