--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -274,7 +274,7 @@
             return "no-server"
         if len(pool.line) >= self.settings.queue_limit:
             return "queue-full"
-        hold_s = pool.line.hold_s(self.now)
+        hold_s = pool.line.max_hold_s(self.now)
         if pool.expected_wait_s(self.now) > min(hold_s, work.deadline - self.now):
             return "wait-too-long"
         if retry and not pool.retry_budget.try_take_token():
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -87,7 +87,7 @@
         ]
         heapq.heapify(self.expiry_heap)
 
-    def hold_s(self, now: float) -> float:
+    def max_hold_s(self, now: float) -> float:
         """Return for how long work is held at most at a time, in seconds."""
         if now >= self.nonempty_since + self.settings.crest_after_ms / 1000.0:
             return min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
@@ -126,7 +126,7 @@
     def crested(self, now: float) -> list[QueuedWork]:
         """Take out and return the work held too long for a standing line."""
         gone: list[QueuedWork] = []
-        hold_s = self.hold_s(now)
+        hold_s = self.max_hold_s(now)
         for waiting in self.firsts():
             while waiting.queued_at + hold_s <= now:
                 self.remove(waiting.work.work_id)
