Rename oldest to oldest_queued_at

The variable is a time.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py oldest oldest_queued_at

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -99,9 +99,12 @@
             min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
         )
         standing_from = self.nonempty_since + self.settings.crest_after_ms / 1000.0
-        oldest = min((first.queued_at for first in self.firsts()), default=float("inf"))
+        oldest_queued_at = min(
+            (first.queued_at for first in self.firsts()), default=float("inf")
+        )
         return min(
-            self.next_own_deadline(), max(oldest + standing_hold_s, standing_from)
+            self.next_own_deadline(),
+            max(oldest_queued_at + standing_hold_s, standing_from),
         )
 
     def firsts(self) -> list[QueuedWork]:
