Rename firsts to queue_heads

The entries are the heads of the queues.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py firsts queue_heads

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -100,14 +100,14 @@
         )
         standing_from = self.nonempty_since + self.settings.crest_after_ms / 1000.0
         oldest_queued_at = min(
-            (first.queued_at for first in self.firsts()), default=float("inf")
+            (first.queued_at for first in self.queue_heads()), default=float("inf")
         )
         return min(
             self.next_own_deadline(),
             max(oldest_queued_at + standing_hold_s, standing_from),
         )
 
-    def firsts(self) -> list[QueuedWork]:
+    def queue_heads(self) -> list[QueuedWork]:
         """Return the oldest work of each line."""
         return [next(iter(line.values())) for line in self.queues() if line]
 
@@ -134,7 +134,7 @@
         """Take out and return the work held too long for a standing line."""
         gone: list[QueuedWork] = []
         hold_s = self.max_hold_s(now)
-        for waiting in self.firsts():
+        for waiting in self.queue_heads():
             while waiting.queued_at + hold_s <= now:
                 self.remove(waiting.work.work_id)
                 gone.append(waiting)
