Rename next_own_deadline to next_expiry

Returns the next expiry time of an entry.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py next_own_deadline next_expiry

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -103,7 +103,7 @@
             (first.queued_at for first in self.queue_heads()), default=float("inf")
         )
         return min(
-            self.next_own_deadline(),
+            self.next_expiry(),
             max(oldest_queued_at + standing_hold_s, standing_from),
         )
 
@@ -111,7 +111,7 @@
         """Return the oldest work of each line."""
         return [next(iter(line.values())) for line in self.queues() if line]
 
-    def next_own_deadline(self) -> float:
+    def next_expiry(self) -> float:
         """Return the first deadline of held work, infinite without any."""
         while self.expiry_heap:
             until, work_id = self.expiry_heap[0]
@@ -124,7 +124,7 @@
     def expired(self, now: float) -> list[QueuedWork]:
         """Take out and return the work whose deadline has come."""
         gone: list[QueuedWork] = []
-        while self.next_own_deadline() <= now:
+        while self.next_expiry() <= now:
             waiting = self.remove(self.expiry_heap[0][1])
             if waiting is not None:
                 gone.append(waiting)
