--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -291,7 +291,7 @@
             waiting, choice = found
             pool.line.remove(waiting.work.work_id)
             outcomes.append(self.place(waiting, choice))
-        for waiting in pool.line.expired(self.now):
+        for waiting in pool.line.remove_expired(self.now):
             outcomes.append(
                 self.refuse(waiting.work, "held-too-long", waiting.queued_at)
             )
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -121,7 +121,7 @@
             heapq.heappop(self.expiry_heap)
         return float("inf")
 
-    def expired(self, now: float) -> list[QueuedWork]:
+    def remove_expired(self, now: float) -> list[QueuedWork]:
         """Take out and return the work whose deadline has come."""
         gone: list[QueuedWork] = []
         while self.next_expiry() <= now:
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -240,7 +240,7 @@
 
 
 def _never_refuses(monkeypatch):
-    monkeypatch.setattr(WaitQueue, "expired", lambda line, now: [])
+    monkeypatch.setattr(WaitQueue, "remove_expired", lambda line, now: [])
 
 
 def _forgets_submitted(monkeypatch):
