Rename crested to remove_held_too_long

Matches the reason code held-too-long.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py crested remove_held_too_long

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -128,9 +128,9 @@
             waiting = self.remove(self.expiry_heap[0][1])
             if waiting is not None:
                 gone.append(waiting)
-        return [*gone, *self.crested(now)]
+        return [*gone, *self.remove_held_too_long(now)]
 
-    def crested(self, now: float) -> list[QueuedWork]:
+    def remove_held_too_long(self, now: float) -> list[QueuedWork]:
         """Take out and return the work held too long for a standing line."""
         gone: list[QueuedWork] = []
         hold_s = self.max_hold_s(now)
