Rename line to queue

Queue is the usual term. The variable is local; behaviour is unchanged.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py line queue

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -29,14 +29,14 @@
 class WaitQueue:
     """The held work of one service, by expected size and then by arrival.
 
-    A line that has not been empty for a while stands: demand is above what the
+    A queue that has not been empty for a while stands: demand is above what the
     servers can do, and waiting longer helps nobody. Then work is held for less time.
 
     Attributes:
         short: Held work that goes first, in order of arrival.
         long: Held work known as long, in order of arrival.
         deadlines: Deadlines in order, with those of some work that is gone.
-        standing_since: When the line was last empty, in seconds; infinite if it is.
+        standing_since: When the queue was last empty, in seconds; infinite if it is.
     """
 
     def __init__(self, settings: PlacementSettings) -> None:
@@ -50,7 +50,7 @@
         return len(self.short_queue) + len(self.long_queue)
 
     def queues(self) -> tuple[OrderedDict[bytes, QueuedWork], ...]:
-        """Return the held work by line, the one that goes first in front."""
+        """Return the held work by queue, the one that goes first in front."""
         return self.short_queue, self.long_queue
 
     def get(self, work_id: bytes) -> QueuedWork | None:
@@ -58,14 +58,14 @@
         return self.short_queue.get(work_id) or self.long_queue.get(work_id)
 
     def enqueue(self, queued: QueuedWork) -> None:
-        """Put work at the end of its line."""
+        """Put work at the end of its queue."""
         self.nonempty_since = min(self.nonempty_since, queued.queued_at)
-        line = (
+        queue = (
             self.long_queue
             if queued.run_time_class is SizeClass.LONG
             else self.short_queue
         )
-        line[queued.work.work_id] = queued
+        queue[queued.work.work_id] = queued
         heapq.heappush(self.expiry_heap, (queued.expires_at, queued.work.work_id))
 
     def remove(self, work_id: bytes) -> QueuedWork | None:
@@ -108,8 +108,8 @@
         )
 
     def queue_heads(self) -> list[QueuedWork]:
-        """Return the oldest work of each line."""
-        return [next(iter(line.values())) for line in self.queues() if line]
+        """Return the oldest work of each queue."""
+        return [next(iter(queue.values())) for queue in self.queues() if queue]
 
     def next_expiry(self) -> float:
         """Return the first deadline of held work, infinite without any."""
@@ -131,19 +131,19 @@
         return [*gone, *self.remove_held_too_long(now)]
 
     def remove_held_too_long(self, now: float) -> list[QueuedWork]:
-        """Take out and return the work held too long for a standing line."""
+        """Take out and return the work held too long for a standing queue."""
         gone: list[QueuedWork] = []
         hold_s = self.max_hold_s(now)
         for waiting in self.queue_heads():
             while waiting.queued_at + hold_s <= now:
                 self.remove(waiting.work.work_id)
                 gone.append(waiting)
-                line = (
+                queue = (
                     self.long_queue
                     if waiting.run_time_class is SizeClass.LONG
                     else self.short_queue
                 )
-                if not line:
+                if not queue:
                     break
-                waiting = next(iter(line.values()))
+                waiting = next(iter(queue.values()))
         return gone
