--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -35,7 +35,7 @@
     Attributes:
         short: Held work that goes first, in order of arrival.
         long: Held work known as long, in order of arrival.
-        deadlines: Deadlines in order, with those of some work that is gone.
+        deadlines: Deadlines in order, with those of some work that is removed.
         standing_since: When the queue was last empty, in seconds; infinite if it is.
     """
 
@@ -80,7 +80,7 @@
         return removed
 
     def compact_expiry_heap(self) -> None:
-        """Drop the deadlines of work that is gone."""
+        """Drop the deadlines of work that is removed."""
         queued_work = [*self.short_queue.values(), *self.long_queue.values()]
         self.expiry_heap = [
             (waiting.expires_at, waiting.work.work_id) for waiting in queued_work
@@ -123,21 +123,21 @@
 
     def remove_expired(self, now: float) -> list[QueuedWork]:
         """Take out and return the work whose deadline has come."""
-        gone: list[QueuedWork] = []
+        removed: list[QueuedWork] = []
         while self.next_expiry() <= now:
             waiting = self.remove(self.expiry_heap[0][1])
             if waiting is not None:
-                gone.append(waiting)
-        return [*gone, *self.remove_held_too_long(now)]
+                removed.append(waiting)
+        return [*removed, *self.remove_held_too_long(now)]
 
     def remove_held_too_long(self, now: float) -> list[QueuedWork]:
         """Take out and return the work held too long for a standing queue."""
-        gone: list[QueuedWork] = []
+        removed: list[QueuedWork] = []
         hold_s = self.max_hold_s(now)
         for waiting in self.queue_heads():
             while waiting.queued_at + hold_s <= now:
                 self.remove(waiting.work.work_id)
-                gone.append(waiting)
+                removed.append(waiting)
                 queue = (
                     self.long_queue
                     if waiting.run_time_class is SizeClass.LONG
@@ -146,4 +146,4 @@
                 if not queue:
                     break
                 waiting = next(iter(queue.values()))
-        return gone
+        return removed
