Rename waiting to queued

The variable is queued work. The variable is local; behaviour is unchanged.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py waiting queued

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -30,7 +30,7 @@
     """The held work of one service, by expected size and then by arrival.
 
     A queue that has not been empty for a while stands: demand is above what the
-    servers can do, and waiting longer helps nobody. Then work is held for less time.
+    servers can do, and queued longer helps nobody. Then work is held for less time.
 
     Attributes:
         short: Held work that goes first, in order of arrival.
@@ -83,7 +83,7 @@
         """Drop the deadlines of work that is removed."""
         queued_work = [*self.short_queue.values(), *self.long_queue.values()]
         self.expiry_heap = [
-            (waiting.expires_at, waiting.work.work_id) for waiting in queued_work
+            (queued.expires_at, queued.work.work_id) for queued in queued_work
         ]
         heapq.heapify(self.expiry_heap)
 
@@ -115,8 +115,8 @@
         """Return the first deadline of held work, infinite without any."""
         while self.expiry_heap:
             until, work_id = self.expiry_heap[0]
-            waiting = self.get(work_id)
-            if waiting is not None and waiting.expires_at == until:
+            queued = self.get(work_id)
+            if queued is not None and queued.expires_at == until:
                 return until
             heapq.heappop(self.expiry_heap)
         return float("inf")
@@ -125,25 +125,25 @@
         """Take out and return the work whose deadline has come."""
         removed: list[QueuedWork] = []
         while self.next_expiry() <= now:
-            waiting = self.remove(self.expiry_heap[0][1])
-            if waiting is not None:
-                removed.append(waiting)
+            queued = self.remove(self.expiry_heap[0][1])
+            if queued is not None:
+                removed.append(queued)
         return [*removed, *self.remove_held_too_long(now)]
 
     def remove_held_too_long(self, now: float) -> list[QueuedWork]:
         """Take out and return the work held too long for a standing queue."""
         removed: list[QueuedWork] = []
         hold_s = self.max_hold_s(now)
-        for waiting in self.queue_heads():
-            while waiting.queued_at + hold_s <= now:
-                self.remove(waiting.work.work_id)
-                removed.append(waiting)
+        for queued in self.queue_heads():
+            while queued.queued_at + hold_s <= now:
+                self.remove(queued.work.work_id)
+                removed.append(queued)
                 queue = (
                     self.long_queue
-                    if waiting.run_time_class is SizeClass.LONG
+                    if queued.run_time_class is SizeClass.LONG
                     else self.short_queue
                 )
                 if not queue:
                     break
-                waiting = next(iter(queue.values()))
+                queued = next(iter(queue.values()))
         return removed
