Rename first to head

The variable is the head of a queue. The variable is local; behaviour is unchanged.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py first head

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -100,7 +100,7 @@
         )
         standing_from = self.nonempty_since + self.settings.crest_after_ms / 1000.0
         oldest_queued_at = min(
-            (first.queued_at for first in self.queue_heads()), default=float("inf")
+            (head.queued_at for head in self.queue_heads()), default=float("inf")
         )
         return min(
             self.next_expiry(),
