Rename until to expires_at

Says what happens at that time. The variable is local; behaviour is unchanged.

Rename: libs/placement/src/kumquatmux_placement/wait_queue.py until expires_at

--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -114,10 +114,10 @@
     def next_expiry(self) -> float:
         """Return the first deadline of held work, infinite without any."""
         while self.expiry_heap:
-            until, work_id = self.expiry_heap[0]
+            expires_at, work_id = self.expiry_heap[0]
             queued = self.get(work_id)
-            if queued is not None and queued.expires_at == until:
-                return until
+            if queued is not None and queued.expires_at == expires_at:
+                return expires_at
             heapq.heappop(self.expiry_heap)
         return float("inf")
 
