--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -90,13 +90,16 @@
     def max_hold_s(self, now: float) -> float:
         """Return for how long work is held at most at a time, in seconds."""
         if now >= self.nonempty_since + self.settings.crest_after_ms / 1000.0:
-            return min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
+            return (
+                min(self.settings.standing_queue_hold_ms, self.settings.hold_ms)
+                / 1000.0
+            )
         return self.settings.hold_ms / 1000.0
 
     def next_deadline(self) -> float:
         """Return when held work may next be refused, in seconds."""
         standing_hold_s = (
-            min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
+            min(self.settings.standing_queue_hold_ms, self.settings.hold_ms) / 1000.0
         )
         standing_from = self.nonempty_since + self.settings.crest_after_ms / 1000.0
         oldest_queued_at = min(
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -84,7 +84,11 @@
 
 
 def test_a_standing_line_is_held_for_less_time():
-    settings = {"hold_ms": 1000.0, "crest_hold_ms": 200.0, "crest_after_ms": 600.0}
+    settings = {
+        "hold_ms": 1000.0,
+        "standing_queue_hold_ms": 200.0,
+        "crest_after_ms": 600.0,
+    }
     made = admission(**settings, reserve_ms=60_000.0)
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Submit(work(b"b")), 0.1)
@@ -308,7 +312,11 @@
 @pytest.mark.parametrize("number", range(200))
 def test_a_tick_at_the_next_deadline_never_leaves_it_due(number):
     started = random.Random(number).uniform(0.0, 1000.0)
-    settings = {"crest_hold_ms": 100.0, "crest_after_ms": 1000.0, "hold_ms": 5000.0}
+    settings = {
+        "standing_queue_hold_ms": 100.0,
+        "crest_after_ms": 1000.0,
+        "hold_ms": 5000.0,
+    }
     made = admission(**settings, reserve_ms=60_000.0)
     made.handle(Submit(work(b"a")), started)
     made.handle(Submit(work(b"b")), started)
