--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -15,7 +15,7 @@
         revision: Settings revision, for the decision lines.
         hold_ms: How long work without a free slot is held before it is refused.
         standing_queue_hold_ms: How long it is held while held work does not run out.
-        crest_after_ms: After how long without an empty line that begins.
+        standing_queue_after_ms: After how long without an empty line that begins.
         queue_limit: Pieces of work held for one service at most.
         long_ms: Work that runs longer counts as long.
         clear_servers: Servers whose worth of slots is kept clear of long work, if
@@ -45,7 +45,7 @@
     revision: int = 0
     hold_ms: float = 1000.0
     standing_queue_hold_ms: float = 400.0
-    crest_after_ms: float = 1000.0
+    standing_queue_after_ms: float = 1000.0
     queue_limit: int = 1000
     long_ms: float = 200.0
     clear_servers: int = 2
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -89,7 +89,7 @@
 
     def max_hold_s(self, now: float) -> float:
         """Return for how long work is held at most at a time, in seconds."""
-        if now >= self.nonempty_since + self.settings.crest_after_ms / 1000.0:
+        if now >= self.nonempty_since + self.settings.standing_queue_after_ms / 1000.0:
             return (
                 min(self.settings.standing_queue_hold_ms, self.settings.hold_ms)
                 / 1000.0
@@ -101,7 +101,9 @@
         standing_hold_s = (
             min(self.settings.standing_queue_hold_ms, self.settings.hold_ms) / 1000.0
         )
-        standing_from = self.nonempty_since + self.settings.crest_after_ms / 1000.0
+        standing_from = (
+            self.nonempty_since + self.settings.standing_queue_after_ms / 1000.0
+        )
         oldest_queued_at = min(
             (head.queued_at for head in self.queue_heads()), default=float("inf")
         )
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -87,7 +87,7 @@
     settings = {
         "hold_ms": 1000.0,
         "standing_queue_hold_ms": 200.0,
-        "crest_after_ms": 600.0,
+        "standing_queue_after_ms": 600.0,
     }
     made = admission(**settings, reserve_ms=60_000.0)
     made.handle(Submit(work(b"a")), 0.0)
@@ -314,7 +314,7 @@
     started = random.Random(number).uniform(0.0, 1000.0)
     settings = {
         "standing_queue_hold_ms": 100.0,
-        "crest_after_ms": 1000.0,
+        "standing_queue_after_ms": 1000.0,
         "hold_ms": 5000.0,
     }
     made = admission(**settings, reserve_ms=60_000.0)
