--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -41,7 +41,7 @@
         self.line = WaitQueue(settings)
         self.run_time_history = RunTimeHistory(settings)
         self.retry_budget = RetryBudget(settings)
-        self.short_work_peak = RecentPeak(settings.clear_memory_ms / 1000.0)
+        self.short_work_peak = RecentPeak(settings.short_work_window_ms / 1000.0)
 
     def use_settings(self, settings: PlacementSettings) -> None:
         """Bring other settings into force for everything known here."""
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -20,7 +20,7 @@
         long_ms: Work that runs longer counts as long.
         clear_servers: Servers whose worth of slots is kept clear of long work, if
             short work needed that many of late.
-        clear_memory_ms: For how long slots stay clear after short work used them.
+        short_work_window_ms: For how long slots stay clear after short work used them.
         warm_ms: For how long a new server is used last.
         shed_backoff_ms: First pause in placing after a server shed work.
         shed_backoff_limit_ms: Longest such pause.
@@ -49,7 +49,7 @@
     queue_limit: int = 1000
     long_ms: float = 200.0
     clear_servers: int = 2
-    clear_memory_ms: float = 10_000.0
+    short_work_window_ms: float = 10_000.0
     warm_ms: float = 10_000.0
     shed_backoff_ms: float = 100.0
     shed_backoff_limit_ms: float = 5000.0
