--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -25,7 +25,7 @@
         shed_backoff_ms: First pause in placing after a server shed work.
         shed_backoff_limit_ms: Longest such pause.
         link_cost_ms: What a server in another availability zone costs in time.
-        bind_ahead: Whether a slot in another availability zone is given again while
+        early_slot_reuse: Whether a slot in another availability zone is given again while
             its answer is expected to be on the way.
         reserve_ms: How long an opened but silent connection keeps its slot.
         stuck_ms: How long unanswered work keeps its slot.
@@ -54,7 +54,7 @@
     shed_backoff_ms: float = 100.0
     shed_backoff_limit_ms: float = 5000.0
     link_cost_ms: float = 10.0
-    bind_ahead: bool = True
+    early_slot_reuse: bool = True
     reserve_ms: float = 1000.0
     stuck_ms: float = 60_000.0
     assumed_ms: float = 200.0
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -265,7 +265,7 @@
 
 
 @pytest.mark.parametrize(
-    ("bind_ahead", "age_s", "placed"),
+    ("early_slot_reuse", "age_s", "placed"),
     [
         (True, 0.005, False),
         (True, 0.02, True),
@@ -273,9 +273,11 @@
         (False, 0.02, False),
     ],
 )
-def test_only_a_far_slot_about_to_be_answered_is_given_again(bind_ahead, age_s, placed):
+def test_only_a_far_slot_about_to_be_answered_is_given_again(
+    early_slot_reuse, age_s, placed
+):
     far = server(2, zone=ZoneName("lpg-a"))
-    made = admission(far, bind_ahead=bind_ahead, **ZONED)
+    made = admission(far, early_slot_reuse=early_slot_reuse, **ZONED)
     made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Started(b"a", far.server), 0.0)
