--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -29,7 +29,7 @@
             its answer is expected to be on the way.
         reserve_ms: How long an opened but silent connection keeps its slot.
         stuck_ms: How long unanswered work keeps its slot.
-        assumed_ms: How long short work of a lost placer is assumed to run.
+        assumed_short_run_ms: How long short work of a lost placer is assumed to run.
         assumed_long_ms: How long its long work is assumed to run.
         report_fresh_ms: Age up to which a load report counts.
         slow_factor: From how many times the service's mean run time of short work on
@@ -57,7 +57,7 @@
     early_slot_reuse: bool = True
     reserve_ms: float = 1000.0
     stuck_ms: float = 60_000.0
-    assumed_ms: float = 200.0
+    assumed_short_run_ms: float = 200.0
     assumed_long_ms: float = 2000.0
     report_fresh_ms: float = 2000.0
     slow_factor: float = 1.5
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -150,7 +150,7 @@
     ("age_s", "free_at"), [(0.0, 10.2), (0.15, 10.05), (0.5, 10.0)]
 )
 def test_a_restored_slot_frees_by_the_age_of_the_digest(age_s, free_at):
-    made = admission(assumed_ms=200.0)
+    made = admission(assumed_short_run_ms=200.0)
     digest = (SlotDigest(server().server, busy=1, long=0, connections=1),)
     made.restore(digest, 10.0, age_s=age_s)
     [first] = made.handle(Submit(work(b"a")), 10.0)
