Rename assumed_long_ms to assumed_long_run_ms

Says what is assumed.

Rename: libs/placement/src/kumquatmux_placement/settings.py assumed_long_ms assumed_long_run_ms

--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -223,7 +223,7 @@
     def assume_slots(self, digest: SlotDigest, reported_at: float) -> None:
         """Count the slots that a lost placer had given when it told of them."""
         short_until = reported_at + self.settings.assumed_short_run_ms / 1000.0
-        long_until = reported_at + self.settings.assumed_long_ms / 1000.0
+        long_until = reported_at + self.settings.assumed_long_run_ms / 1000.0
         known_slots = len(self.reserved_flows) + len(self.running_flows)
         assumed_short = max(digest.busy - digest.long - known_slots, 0)
         self.assumed_slot_expiries = [short_until] * assumed_short + [
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -30,7 +30,7 @@
         reserve_ms: How long an opened but silent connection keeps its slot.
         stuck_ms: How long unanswered work keeps its slot.
         assumed_short_run_ms: How long short work of a lost placer is assumed to run.
-        assumed_long_ms: How long its long work is assumed to run.
+        assumed_long_run_ms: How long its long work is assumed to run.
         report_fresh_ms: Age up to which a load report counts.
         slow_factor: From how many times the service's mean run time of short work on
             a server counts as slow.
@@ -58,7 +58,7 @@
     reserve_ms: float = 1000.0
     stuck_ms: float = 60_000.0
     assumed_short_run_ms: float = 200.0
-    assumed_long_ms: float = 2000.0
+    assumed_long_run_ms: float = 2000.0
     report_fresh_ms: float = 2000.0
     slow_factor: float = 1.5
     retry_ratio: float = 0.1
