--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -195,7 +195,7 @@
         """Return whether its short work runs much longer than the service's."""
         return (
             self.mean_short_run_s
-            > self.history.mean_short_run_s * self.settings.slow_factor
+            > self.history.mean_short_run_s * self.settings.slow_server_factor
         )
 
     def start_backoff(self, now: float) -> None:
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -32,7 +32,7 @@
         assumed_short_run_ms: How long short work of a lost placer is assumed to run.
         assumed_long_run_ms: How long its long work is assumed to run.
         report_fresh_ms: Age up to which a load report counts.
-        slow_factor: From how many times the service's mean run time of short work on
+        slow_server_factor: From how many times the service's mean run time of short work on
             a server counts as slow.
         retry_ratio: Retries allowed for each first attempt.
         retry_burst: Retries allowed at once.
@@ -60,7 +60,7 @@
     assumed_short_run_ms: float = 200.0
     assumed_long_run_ms: float = 2000.0
     report_fresh_ms: float = 2000.0
-    slow_factor: float = 1.5
+    slow_server_factor: float = 1.5
     retry_ratio: float = 0.1
     retry_burst: int = 10
     history_callers: int = 4096
