Rename history_callers to history_caller_limit

The setting is a limit.

Rename: libs/placement/src/kumquatmux_placement/settings.py history_callers history_caller_limit

--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -47,5 +47,5 @@
             previous_share * PREVIOUS_SHARE_WEIGHT
             + float(is_long) * (1.0 - PREVIOUS_SHARE_WEIGHT)
         )
-        if len(self.long_share_by_caller) > self.settings.history_callers:
+        if len(self.long_share_by_caller) > self.settings.history_caller_limit:
             self.long_share_by_caller.popitem(last=False)
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -36,7 +36,7 @@
             a server counts as slow.
         retry_ratio: Retries allowed for each first attempt.
         retry_burst: Retries allowed at once.
-        history_callers: Callers whose work sizes are remembered for one service.
+        history_caller_limit: Callers whose work sizes are remembered for one service.
         forget_ms: How long ended work is remembered against repeats.
         remembered_work: Pieces of ended work remembered at most.
     """
@@ -63,6 +63,6 @@
     slow_server_factor: float = 1.5
     retry_ratio: float = 0.1
     retry_burst: int = 10
-    history_callers: int = 4096
+    history_caller_limit: int = 4096
     forget_ms: float = 120_000.0
     remembered_work: int = 65_536
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -56,7 +56,7 @@
     reserve_ms=FOREVER_MS,
     stuck_ms=FOREVER_MS,
     remembered_work=8,
-    history_callers=3,
+    history_caller_limit=3,
 )
 RUN = hypothesis_settings(max_examples=40, stateful_step_count=40)
 BREAK = hypothesis_settings(
@@ -212,7 +212,8 @@
         assert len(pool.line) == len(self.pending) <= SETTINGS.queue_limit
         assert len(pool.line.expiry_heap) <= 2 * len(pool.line) + 17
         assert (
-            len(pool.run_time_history.long_share_by_caller) <= SETTINGS.history_callers
+            len(pool.run_time_history.long_share_by_caller)
+            <= SETTINGS.history_caller_limit
         )
         assert len(self.made.lost.ended_at) <= SETTINGS.remembered_work
         assert len(self.made.refused.ended_at) <= SETTINGS.remembered_work
