--- a/libs/placement/src/kumquatmux_placement/recent_work.py
+++ b/libs/placement/src/kumquatmux_placement/recent_work.py
@@ -33,6 +33,6 @@
 
     def evict_expired(self, now: float) -> None:
         """Forget work that ended too long ago."""
-        expired_until = now - self.settings.forget_ms / 1000.0
+        expired_until = now - self.settings.ended_work_ttl_ms / 1000.0
         while self.ended_at and next(iter(self.ended_at.values())) <= expired_until:
             self.ended_at.popitem(last=False)
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -37,7 +37,7 @@
         retry_ratio: Retries allowed for each first attempt.
         retry_burst: Retries allowed at once.
         history_caller_limit: Callers whose work sizes are remembered for one service.
-        forget_ms: How long ended work is remembered against repeats.
+        ended_work_ttl_ms: How long ended work is remembered against repeats.
         remembered_work: Pieces of ended work remembered at most.
     """
 
@@ -64,5 +64,5 @@
     retry_ratio: float = 0.1
     retry_burst: int = 10
     history_caller_limit: int = 4096
-    forget_ms: float = 120_000.0
+    ended_work_ttl_ms: float = 120_000.0
     remembered_work: int = 65_536
