Rename remembered_work to ended_work_limit

The setting is a limit.

Rename: libs/placement/src/kumquatmux_placement/settings.py remembered_work ended_work_limit

--- a/libs/placement/src/kumquatmux_placement/recent_work.py
+++ b/libs/placement/src/kumquatmux_placement/recent_work.py
@@ -23,7 +23,7 @@
         self.ended_at.pop(work_id, None)
         self.ended_at[work_id] = now
         self.evict_expired(now)
-        if len(self.ended_at) > self.settings.remembered_work:
+        if len(self.ended_at) > self.settings.ended_work_limit:
             self.ended_at.popitem(last=False)
 
     def contains(self, work_id: bytes, now: float) -> bool:
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -38,7 +38,7 @@
         retry_burst: Retries allowed at once.
         history_caller_limit: Callers whose work sizes are remembered for one service.
         ended_work_ttl_ms: How long ended work is remembered against repeats.
-        remembered_work: Pieces of ended work remembered at most.
+        ended_work_limit: Pieces of ended work remembered at most.
     """
 
     zone: ZoneName = ZoneName("")
@@ -65,4 +65,4 @@
     retry_burst: int = 10
     history_caller_limit: int = 4096
     ended_work_ttl_ms: float = 120_000.0
-    remembered_work: int = 65_536
+    ended_work_limit: int = 65_536
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -55,7 +55,7 @@
     queue_limit=6,
     reserve_ms=FOREVER_MS,
     stuck_ms=FOREVER_MS,
-    remembered_work=8,
+    ended_work_limit=8,
     history_caller_limit=3,
 )
 RUN = hypothesis_settings(max_examples=40, stateful_step_count=40)
@@ -134,7 +134,7 @@
     @precondition(lambda self: self.count)
     @rule(data=st.data())
     def submit_again(self, data):
-        oldest = max(self.count - SETTINGS.remembered_work // 2 + 1, 1)
+        oldest = max(self.count - SETTINGS.ended_work_limit // 2 + 1, 1)
         number = data.draw(st.integers(oldest, self.count))
         work_id = number.to_bytes(2)
         repeatable = self.repeatable[work_id]
@@ -215,8 +215,8 @@
             len(pool.run_time_history.long_share_by_caller)
             <= SETTINGS.history_caller_limit
         )
-        assert len(self.made.lost.ended_at) <= SETTINGS.remembered_work
-        assert len(self.made.refused.ended_at) <= SETTINGS.remembered_work
+        assert len(self.made.lost.ended_at) <= SETTINGS.ended_work_limit
+        assert len(self.made.refused.ended_at) <= SETTINGS.ended_work_limit
         connections = sum(load.open_connections for load in self.made.servers.values())
         assert connections <= len(self.open)
 
@@ -267,7 +267,7 @@
         (_never_refuses, "held beyond|changes nothing"),
         (_forgets_submitted, "placed twice|placed again|called not run"),
         (_forgets_lost, "placed again|called not run"),
-        (_remembers_all, "remembered_work|assert"),
+        (_remembers_all, "ended_work_limit|assert"),
     ],
 )
 def test_each_promise_fails_when_broken(monkeypatch, mutate, message):
