Rename pool to pool_for

Says that the method looks up the pool of a service. Made with rename.py; every use follows, behaviour is unchanged.

Rename: libs/placement/src/kumquatmux_placement/admission.py pool pool_for

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -91,7 +91,7 @@
 
     def digest(self, service: ServiceName) -> tuple[SlotDigest, ...]:
         """Return what the backup of a service has to know, an entry a server."""
-        pool = self.pool(service)
+        pool = self.pool_for(service)
         pool.release_expired_slots(self.now)
         return tuple(load.digest(self.now) for load in pool.server_loads.values())
 
@@ -122,7 +122,7 @@
                 self.finish(work_id, flow, answered=False)
                 self.forget(work_id, flow)
 
-    def pool(self, service: ServiceName) -> ServerPool:
+    def pool_for(self, service: ServiceName) -> ServerPool:
         """Return what is known about a service."""
         if service not in self.pools:
             self.pools[service] = ServerPool(self.settings, service, self.random)
@@ -136,7 +136,7 @@
     @on.register
     def _(self, event: Submit) -> list[Outcome]:
         work = event.work
-        pool = self.pool(work.service)
+        pool = self.pool_for(work.service)
         pool.release_expired_slots(self.now)
         known = self.answer_again(work, pool)
         if known is not None:
@@ -158,7 +158,7 @@
         if flow is None:
             return []
         self.finish(event.work_id, flow, answered=True)
-        return self.drain(self.pool(flow.server_load.service))
+        return self.drain(self.pool_for(flow.server_load.service))
 
     @on.register
     def _(self, event: Closed) -> list[Outcome]:
@@ -167,7 +167,7 @@
             return []
         self.finish(event.work_id, flow, answered=False)
         self.forget(event.work_id, flow)
-        return self.drain(self.pool(flow.server_load.service))
+        return self.drain(self.pool_for(flow.server_load.service))
 
     @on.register
     def _(self, event: Adopted) -> list[Outcome]:
@@ -204,7 +204,7 @@
 
     @on.register
     def _(self, event: ServersChanged) -> list[Outcome]:
-        pool = self.pool(event.service)
+        pool = self.pool_for(event.service)
         pool.update_servers(event.servers)
         for name, load in pool.server_loads.items():
             self.servers[name] = load
@@ -306,7 +306,7 @@
         self.bind(work.work_id, flow)
         choice.server_load.reserve_slot(work.work_id, flow, self.now)
         if waiting.run_time_class is not SizeClass.LONG:
-            self.pool(work.service).record_short_work(self.now)
+            self.pool_for(work.service).record_short_work(self.now)
         return Placed(
             work.work_id,
             work.service,
@@ -348,13 +348,15 @@
         if answered:
             load.backoff_s = 0.0
             load.record_run_time(run_s)
-            self.pool(load.service).run_time_history.record_run_time(flow.caller, run_s)
+            self.pool_for(load.service).run_time_history.record_run_time(
+                flow.caller, run_s
+            )
 
     def forget(self, work_id: bytes, flow: Flow) -> None:
         """Stop counting the connection of some work."""
         del self.flows[work_id]
         flow.server_load.open_connections -= 1
-        self.pool(flow.server_load.service).remove_if_unused(flow.server_load)
+        self.pool_for(flow.server_load.service).remove_if_unused(flow.server_load)
 
     def lose(self, work_id: bytes, flow: Flow) -> list[Outcome]:
         """End placed work whose fate is not known."""
@@ -365,7 +367,7 @@
         unknown = Unknown(
             work_id, flow.server_load.service, flow.server_load.server.server
         )
-        return [unknown, *self.drain(self.pool(flow.server_load.service))]
+        return [unknown, *self.drain(self.pool_for(flow.server_load.service))]
 
     def log(self, outcome: Outcome) -> None:
         """Write the decision line of one outcome."""
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -207,7 +207,7 @@
 
     @invariant()
     def memory_is_bounded(self):
-        pool = self.made.pool(SERVICE)
+        pool = self.made.pool_for(SERVICE)
         assert set(self.made.flows) == set(self.open)
         assert len(pool.line) == len(self.pending) <= SETTINGS.queue_limit
         assert len(pool.line.expiry_heap) <= 2 * len(pool.line) + 17
