Rename on to apply_event

Says what the method does.

Rename: libs/placement/src/kumquatmux_placement/admission.py on apply_event

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -71,7 +71,7 @@
             Outcomes for this work and for held work that could now be decided.
         """
         self.now = max(now, self.now)
-        outcomes = self.on(event)
+        outcomes = self.apply_event(event)
         for outcome in outcomes:
             self.log(outcome)
         return outcomes
@@ -129,11 +129,11 @@
         return self.pools[service]
 
     @singledispatchmethod
-    def on(self, event: Event) -> list[Outcome]:
+    def apply_event(self, event: Event) -> list[Outcome]:
         """Decide about one event at the current time."""
         raise TypeError(f"no such event: {event!r}")
 
-    @on.register
+    @apply_event.register
     def _(self, event: Submit) -> list[Outcome]:
         work = event.work
         pool = self.pool_for(work.service)
@@ -144,7 +144,7 @@
         outcomes = self.drain(pool)
         return [*outcomes, self.admit(work, pool)]
 
-    @on.register
+    @apply_event.register
     def _(self, event: Started) -> list[Outcome]:
         flow = self.flow_on(event.work_id, event.server)
         if flow is None or event.work_id in flow.server_load.running_flows:
@@ -152,7 +152,7 @@
         flow.server_load.start_work(event.work_id, flow, self.now)
         return []
 
-    @on.register
+    @apply_event.register
     def _(self, event: Answered) -> list[Outcome]:
         flow = self.flow_on(event.work_id, event.server)
         if flow is None:
@@ -160,7 +160,7 @@
         self.finish(event.work_id, flow, answered=True)
         return self.drain(self.pool_for(flow.server_load.service))
 
-    @on.register
+    @apply_event.register
     def _(self, event: Closed) -> list[Outcome]:
         flow = self.flows.get(event.work_id)
         if flow is None or flow.server_load.server.server != event.server:
@@ -169,7 +169,7 @@
         self.forget(event.work_id, flow)
         return self.drain(self.pool_for(flow.server_load.service))
 
-    @on.register
+    @apply_event.register
     def _(self, event: Adopted) -> list[Outcome]:
         load = self.servers.get(event.server)
         if load is None or event.work_id in self.flows:
@@ -177,7 +177,7 @@
         self.bind(event.work_id, Flow(load, "", SizeClass.UNKNOWN, False))
         return []
 
-    @on.register
+    @apply_event.register
     def _(self, event: Shed) -> list[Outcome]:
         flow = self.flows.get(event.work_id)
         if flow is None or flow.server_load.server.server != event.server:
@@ -185,24 +185,24 @@
         flow.server_load.start_backoff(self.now)
         return self.lose(event.work_id, flow)
 
-    @on.register
+    @apply_event.register
     def _(self, event: Cancel) -> list[Outcome]:
         for pool in self.pools.values():
             if pool.line.remove(event.work_id) is not None:
                 return [Cancelled(event.work_id, pool.service)]
         return []
 
-    @on.register
+    @apply_event.register
     def _(self, event: OutcomeLost) -> list[Outcome]:
         flow = self.flows.get(event.work_id)
         if flow is not None:
             return self.lose(event.work_id, flow)
-        withdrawn = self.on(Cancel(event.work_id))
+        withdrawn = self.apply_event(Cancel(event.work_id))
         if not withdrawn:
             self.lost.add(event.work_id, self.now)
         return withdrawn
 
-    @on.register
+    @apply_event.register
     def _(self, event: ServersChanged) -> list[Outcome]:
         pool = self.pool_for(event.service)
         pool.update_servers(event.servers)
@@ -213,14 +213,14 @@
                 del self.servers[name]
         return self.drain(pool)
 
-    @on.register
+    @apply_event.register
     def _(self, event: LoadReported) -> list[Outcome]:
         load = self.servers.get(event.server)
         if load is not None:
             load.apply_load_report(event, self.now)
         return []
 
-    @on.register
+    @apply_event.register
     def _(self, event: Tick) -> list[Outcome]:
         outcomes: list[Outcome] = []
         for pool in self.pools.values():
