--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -138,7 +138,7 @@
         work = event.work
         pool = self.pool_for(work.service)
         pool.release_expired_slots(self.now)
-        known = self.answer_again(work, pool)
+        known = self.repeat_outcome(work, pool)
         if known is not None:
             return [*known, *self.drain(pool)]
         outcomes = self.drain(pool)
@@ -228,7 +228,7 @@
                 outcomes += self.drain(pool)
         return outcomes
 
-    def answer_again(self, work: Work, pool: ServerPool) -> list[Outcome] | None:
+    def repeat_outcome(self, work: Work, pool: ServerPool) -> list[Outcome] | None:
         """Return the outcome of work that was submitted before, if it was."""
         flow = self.flows.get(work.work_id)
         if flow is not None:
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -245,7 +245,7 @@
 
 
 def _forgets_submitted(monkeypatch):
-    monkeypatch.setattr(Admission, "answer_again", lambda made, work, pool: None)
+    monkeypatch.setattr(Admission, "repeat_outcome", lambda made, work, pool: None)
 
 
 def _forgets_lost(monkeypatch):
