Rename known to repeated

The variable is the repeated outcome.

Rename: libs/placement/src/kumquatmux_placement/admission.py known repeated

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -138,9 +138,9 @@
         work = event.work
         pool = self.pool_for(work.service)
         pool.release_expired_slots(self.now)
-        known = self.repeat_outcome(work, pool)
-        if known is not None:
-            return [*known, *self.drain(pool)]
+        repeated = self.repeat_outcome(work, pool)
+        if repeated is not None:
+            return [*repeated, *self.drain(pool)]
         outcomes = self.drain(pool)
         return [*outcomes, self.admit(work, pool)]
 
