--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -250,7 +250,7 @@
         retry = work.attempt > 0 or self.refused.contains(work.work_id, self.now)
         if not retry:
             pool.retry_budget.record_first_attempt()
-        if not self.is_behind(size, pool):
+        if not self.must_queue_behind(size, pool):
             choice = pool.choose_server(size, self.now, self.now)
             if choice is not None:
                 return self.place(QueuedWork(work, size, self.now, self.now), choice)
@@ -261,7 +261,7 @@
         pool.line.enqueue(QueuedWork(work, size, self.now, until))
         return Held(work.work_id, work.service, until)
 
-    def is_behind(self, size: SizeClass, pool: ServerPool) -> bool:
+    def must_queue_behind(self, size: SizeClass, pool: ServerPool) -> bool:
         """Return whether work held earlier goes before new work of that size."""
         ahead = pool.line.short_queue
         return bool(ahead) or (size is SizeClass.LONG and bool(pool.line.long_queue))
