Rename ahead to queued_first

The variable is the queue that is served first.

Rename: libs/placement/src/kumquatmux_placement/admission.py ahead queued_first

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -263,8 +263,10 @@
 
     def must_queue_behind(self, size: SizeClass, pool: ServerPool) -> bool:
         """Return whether work held earlier goes before new work of that size."""
-        ahead = pool.line.short_queue
-        return bool(ahead) or (size is SizeClass.LONG and bool(pool.line.long_queue))
+        queued_first = pool.line.short_queue
+        return bool(queued_first) or (
+            size is SizeClass.LONG and bool(pool.line.long_queue)
+        )
 
     def refusal(self, work: Work, pool: ServerPool, *, retry: bool) -> str:
         """Return why work cannot be held, empty if it can."""
