Rename refusal to refusal_reason

The method returns a reason code.

Rename: libs/placement/src/kumquatmux_placement/admission.py refusal refusal_reason

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -254,7 +254,7 @@
             choice = pool.choose_server(size, self.now, self.now)
             if choice is not None:
                 return self.place(QueuedWork(work, size, self.now, self.now), choice)
-        refusal = self.refusal(work, pool, retry=retry)
+        refusal = self.refusal_reason(work, pool, retry=retry)
         if refusal:
             return self.refuse(work, refusal, self.now)
         until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
@@ -268,7 +268,7 @@
             size is SizeClass.LONG and bool(pool.line.long_queue)
         )
 
-    def refusal(self, work: Work, pool: ServerPool, *, retry: bool) -> str:
+    def refusal_reason(self, work: Work, pool: ServerPool, *, retry: bool) -> str:
         """Return why work cannot be held, empty if it can."""
         if not any(
             load.accepts_new_work(self.now) for load in pool.server_loads.values()
