Rename refusal to reason

The variable is a reason code.

Rename: libs/placement/src/kumquatmux_placement/admission.py refusal reason

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -254,9 +254,9 @@
             choice = pool.choose_server(size, self.now, self.now)
             if choice is not None:
                 return self.place(QueuedWork(work, size, self.now, self.now), choice)
-        refusal = self.refusal_reason(work, pool, retry=retry)
-        if refusal:
-            return self.refuse(work, refusal, self.now)
+        reason = self.refusal_reason(work, pool, retry=retry)
+        if reason:
+            return self.refuse(work, reason, self.now)
         until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
         pool.line.enqueue(QueuedWork(work, size, self.now, until))
         return Held(work.work_id, work.service, until)
