--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -140,8 +140,8 @@
         pool.release_expired_slots(self.now)
         repeated = self.repeat_outcome(work, pool)
         if repeated is not None:
-            return [*repeated, *self.drain(pool)]
-        outcomes = self.drain(pool)
+            return [*repeated, *self.process_queue(pool)]
+        outcomes = self.process_queue(pool)
         return [*outcomes, self.admit(work, pool)]
 
     @apply_event.register
@@ -158,7 +158,7 @@
         if flow is None:
             return []
         self.finish(event.work_id, flow, answered=True)
-        return self.drain(self.pool_for(flow.server_load.service))
+        return self.process_queue(self.pool_for(flow.server_load.service))
 
     @apply_event.register
     def _(self, event: Closed) -> list[Outcome]:
@@ -167,7 +167,7 @@
             return []
         self.finish(event.work_id, flow, answered=False)
         self.forget(event.work_id, flow)
-        return self.drain(self.pool_for(flow.server_load.service))
+        return self.process_queue(self.pool_for(flow.server_load.service))
 
     @apply_event.register
     def _(self, event: Adopted) -> list[Outcome]:
@@ -211,7 +211,7 @@
         for name, load in list(self.servers.items()):
             if load.service == event.service and name not in pool.server_loads:
                 del self.servers[name]
-        return self.drain(pool)
+        return self.process_queue(pool)
 
     @apply_event.register
     def _(self, event: LoadReported) -> list[Outcome]:
@@ -225,7 +225,7 @@
         outcomes: list[Outcome] = []
         for pool in self.pools.values():
             if pool.line:
-                outcomes += self.drain(pool)
+                outcomes += self.process_queue(pool)
         return outcomes
 
     def repeat_outcome(self, work: Work, pool: ServerPool) -> list[Outcome] | None:
@@ -283,7 +283,7 @@
             return "retry-budget"
         return ""
 
-    def drain(self, pool: ServerPool) -> list[Outcome]:
+    def process_queue(self, pool: ServerPool) -> list[Outcome]:
         """Refuse held work whose time is over and place what can be placed."""
         pool.release_expired_slots(self.now)
         outcomes: list[Outcome] = []
@@ -369,7 +369,7 @@
         unknown = Unknown(
             work_id, flow.server_load.service, flow.server_load.server.server
         )
-        return [unknown, *self.drain(self.pool_for(flow.server_load.service))]
+        return [unknown, *self.process_queue(self.pool_for(flow.server_load.service))]
 
     def log(self, outcome: Outcome) -> None:
         """Write the decision line of one outcome."""
