--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -290,13 +290,11 @@
         if not pool.line:
             return outcomes
         while (found := pool.next_placeable_work(self.now)) is not None:
-            waiting, choice = found
-            pool.line.remove(waiting.work.work_id)
-            outcomes.append(self.place(waiting, choice))
-        for waiting in pool.line.remove_expired(self.now):
-            outcomes.append(
-                self.refuse(waiting.work, "held-too-long", waiting.queued_at)
-            )
+            queued, choice = found
+            pool.line.remove(queued.work.work_id)
+            outcomes.append(self.place(queued, choice))
+        for queued in pool.line.remove_expired(self.now):
+            outcomes.append(self.refuse(queued.work, "held-too-long", queued.queued_at))
         return outcomes
 
     def place(self, waiting: QueuedWork, choice: SelectedServer) -> Outcome:
