--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -290,9 +290,9 @@
         if not pool.line:
             return outcomes
         while (found := pool.next_placeable_work(self.now)) is not None:
-            queued, choice = found
+            queued, selected = found
             pool.line.remove(queued.work.work_id)
-            outcomes.append(self.place(queued, choice))
+            outcomes.append(self.place(queued, selected))
         for queued in pool.line.remove_expired(self.now):
             outcomes.append(self.refuse(queued.work, "held-too-long", queued.queued_at))
         return outcomes
