Rename choice to selected

The variable is a SelectedServer.

Rename: libs/placement/src/kumquatmux_placement/admission.py choice selected

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -251,9 +251,9 @@
         if not retry:
             pool.retry_budget.record_first_attempt()
         if not self.must_queue_behind(size, pool):
-            choice = pool.choose_server(size, self.now, self.now)
-            if choice is not None:
-                return self.place(QueuedWork(work, size, self.now, self.now), choice)
+            selected = pool.choose_server(size, self.now, self.now)
+            if selected is not None:
+                return self.place(QueuedWork(work, size, self.now, self.now), selected)
         reason = self.refusal_reason(work, pool, retry=retry)
         if reason:
             return self.refuse(work, reason, self.now)
