Rename waiting to queued

The variable is queued work.

Rename: libs/placement/src/kumquatmux_placement/admission.py waiting queued

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -237,9 +237,9 @@
                 work.work_id, work.service, server, "already-placed", 1, 0.0
             )
             return [placed]
-        waiting = pool.line.get(work.work_id)
-        if waiting is not None:
-            return [Held(work.work_id, work.service, waiting.expires_at)]
+        queued = pool.line.get(work.work_id)
+        if queued is not None:
+            return [Held(work.work_id, work.service, queued.expires_at)]
         if not work.repeatable and self.lost.contains(work.work_id, self.now):
             return [Unknown(work.work_id, work.service, ServerId(""))]
         return None
