Rename waiting to queued

The parameter is queued work.

Rename: libs/placement/src/kumquatmux_placement/admission.py waiting queued

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -297,15 +297,15 @@
             outcomes.append(self.refuse(queued.work, "held-too-long", queued.queued_at))
         return outcomes
 
-    def place(self, waiting: QueuedWork, choice: SelectedServer) -> Outcome:
+    def place(self, queued: QueuedWork, choice: SelectedServer) -> Outcome:
         """Bind work to a server for good and take a slot for it."""
-        work = waiting.work
+        work = queued.work
         flow = Flow(
-            choice.server_load, work.caller, waiting.run_time_class, work.repeatable
+            choice.server_load, work.caller, queued.run_time_class, work.repeatable
         )
         self.bind(work.work_id, flow)
         choice.server_load.reserve_slot(work.work_id, flow, self.now)
-        if waiting.run_time_class is not SizeClass.LONG:
+        if queued.run_time_class is not SizeClass.LONG:
             self.pool_for(work.service).record_short_work(self.now)
         return Placed(
             work.work_id,
@@ -313,7 +313,7 @@
             choice.server_load.server.server,
             choice.reason,
             choice.candidate_count,
-            self.now - waiting.queued_at,
+            self.now - queued.queued_at,
         )
 
     def refuse(self, work: Work, reason: str, since: float) -> Outcome:
