--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -297,22 +297,22 @@
             outcomes.append(self.refuse(queued.work, "held-too-long", queued.queued_at))
         return outcomes
 
-    def place(self, queued: QueuedWork, choice: SelectedServer) -> Outcome:
+    def place(self, queued: QueuedWork, selected: SelectedServer) -> Outcome:
         """Bind work to a server for good and take a slot for it."""
         work = queued.work
         flow = Flow(
-            choice.server_load, work.caller, queued.run_time_class, work.repeatable
+            selected.server_load, work.caller, queued.run_time_class, work.repeatable
         )
         self.bind(work.work_id, flow)
-        choice.server_load.reserve_slot(work.work_id, flow, self.now)
+        selected.server_load.reserve_slot(work.work_id, flow, self.now)
         if queued.run_time_class is not SizeClass.LONG:
             self.pool_for(work.service).record_short_work(self.now)
         return Placed(
             work.work_id,
             work.service,
-            choice.server_load.server.server,
-            choice.reason,
-            choice.candidate_count,
+            selected.server_load.server.server,
+            selected.reason,
+            selected.candidate_count,
             self.now - queued.queued_at,
         )
 
