--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -253,7 +253,9 @@
         if not self.must_queue_behind(size, pool):
             selected = pool.choose_server(size, self.now, self.now)
             if selected is not None:
-                return self.place(QueuedWork(work, size, self.now, self.now), selected)
+                return self.place_work(
+                    QueuedWork(work, size, self.now, self.now), selected
+                )
         reason = self.refusal_reason(work, pool, retry=retry)
         if reason:
             return self.refuse(work, reason, self.now)
@@ -292,12 +294,12 @@
         while (found := pool.next_placeable_work(self.now)) is not None:
             queued, selected = found
             pool.line.remove(queued.work.work_id)
-            outcomes.append(self.place(queued, selected))
+            outcomes.append(self.place_work(queued, selected))
         for queued in pool.line.remove_expired(self.now):
             outcomes.append(self.refuse(queued.work, "held-too-long", queued.queued_at))
         return outcomes
 
-    def place(self, queued: QueuedWork, selected: SelectedServer) -> Outcome:
+    def place_work(self, queued: QueuedWork, selected: SelectedServer) -> Outcome:
         """Bind work to a server for good and take a slot for it."""
         work = queued.work
         flow = Flow(
