Rename since to queued_at

Says which event the time is of.

Rename: libs/placement/src/kumquatmux_placement/admission.py since queued_at

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -318,10 +318,10 @@
             self.now - queued.queued_at,
         )
 
-    def refuse(self, work: Work, reason: str, since: float) -> Outcome:
+    def refuse(self, work: Work, reason: str, queued_at: float) -> Outcome:
         """Refuse work of which nothing was forwarded."""
         self.refused.add(work.work_id, self.now)
-        return Refused(work.work_id, work.service, reason, self.now - since)
+        return Refused(work.work_id, work.service, reason, self.now - queued_at)
 
     def bind(self, work_id: bytes, flow: Flow) -> None:
         """Count the connection of placed work."""
