Rename refuse to refuse_work

Says what is refused.

Rename: libs/placement/src/kumquatmux_placement/admission.py refuse refuse_work

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -258,7 +258,7 @@
                 )
         reason = self.refusal_reason(work, pool, retry=retry)
         if reason:
-            return self.refuse(work, reason, self.now)
+            return self.refuse_work(work, reason, self.now)
         until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
         pool.line.enqueue(QueuedWork(work, size, self.now, until))
         return Held(work.work_id, work.service, until)
@@ -296,7 +296,9 @@
             pool.line.remove(queued.work.work_id)
             outcomes.append(self.place_work(queued, selected))
         for queued in pool.line.remove_expired(self.now):
-            outcomes.append(self.refuse(queued.work, "held-too-long", queued.queued_at))
+            outcomes.append(
+                self.refuse_work(queued.work, "held-too-long", queued.queued_at)
+            )
         return outcomes
 
     def place_work(self, queued: QueuedWork, selected: SelectedServer) -> Outcome:
@@ -318,7 +320,7 @@
             self.now - queued.queued_at,
         )
 
-    def refuse(self, work: Work, reason: str, queued_at: float) -> Outcome:
+    def refuse_work(self, work: Work, reason: str, queued_at: float) -> Outcome:
         """Refuse work of which nothing was forwarded."""
         self.refused.add(work.work_id, self.now)
         return Refused(work.work_id, work.service, reason, self.now - queued_at)
