--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -174,7 +174,7 @@
         load = self.servers.get(event.server)
         if load is None or event.work_id in self.flows:
             return []
-        self.bind(event.work_id, Flow(load, "", SizeClass.UNKNOWN, False))
+        self.add_flow(event.work_id, Flow(load, "", SizeClass.UNKNOWN, False))
         return []
 
     @apply_event.register
@@ -307,7 +307,7 @@
         flow = Flow(
             selected.server_load, work.caller, queued.run_time_class, work.repeatable
         )
-        self.bind(work.work_id, flow)
+        self.add_flow(work.work_id, flow)
         selected.server_load.reserve_slot(work.work_id, flow, self.now)
         if queued.run_time_class is not SizeClass.LONG:
             self.pool_for(work.service).record_short_work(self.now)
@@ -325,7 +325,7 @@
         self.refused.add(work.work_id, self.now)
         return Refused(work.work_id, work.service, reason, self.now - queued_at)
 
-    def bind(self, work_id: bytes, flow: Flow) -> None:
+    def add_flow(self, work_id: bytes, flow: Flow) -> None:
         """Count the connection of placed work."""
         self.flows[work_id] = flow
         flow.server_load.open_connections += 1
@@ -339,7 +339,7 @@
         if load is None:
             return None
         flow = Flow(load, "", SizeClass.UNKNOWN, False)
-        self.bind(work_id, flow)
+        self.add_flow(work_id, flow)
         return flow
 
     def finish(self, work_id: bytes, flow: Flow, *, answered: bool) -> None:
