--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -146,7 +146,7 @@
 
     @apply_event.register
     def _(self, event: Started) -> list[Outcome]:
-        flow = self.flow_on(event.work_id, event.server)
+        flow = self.find_or_adopt_flow(event.work_id, event.server)
         if flow is None or event.work_id in flow.server_load.running_flows:
             return []
         flow.server_load.start_work(event.work_id, flow, self.now)
@@ -154,7 +154,7 @@
 
     @apply_event.register
     def _(self, event: Answered) -> list[Outcome]:
-        flow = self.flow_on(event.work_id, event.server)
+        flow = self.find_or_adopt_flow(event.work_id, event.server)
         if flow is None:
             return []
         self.finish(event.work_id, flow, answered=True)
@@ -330,7 +330,7 @@
         self.flows[work_id] = flow
         flow.server_load.open_connections += 1
 
-    def flow_on(self, work_id: bytes, server: ServerId) -> Flow | None:
+    def find_or_adopt_flow(self, work_id: bytes, server: ServerId) -> Flow | None:
         """Return the flow of some work, adopted if it was not known."""
         flow = self.flows.get(work_id)
         if flow is not None:
