Rename finish to release_slot

Says what is released.

Rename: libs/placement/src/kumquatmux_placement/admission.py finish release_slot

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -119,7 +119,7 @@
         self.now = max(now, self.now)
         for work_id, flow in list(self.flows.items()):
             if flow.server_load.service == service:
-                self.finish(work_id, flow, answered=False)
+                self.release_slot(work_id, flow, answered=False)
                 self.forget(work_id, flow)
 
     def pool_for(self, service: ServiceName) -> ServerPool:
@@ -157,7 +157,7 @@
         flow = self.find_or_adopt_flow(event.work_id, event.server)
         if flow is None:
             return []
-        self.finish(event.work_id, flow, answered=True)
+        self.release_slot(event.work_id, flow, answered=True)
         return self.process_queue(self.pool_for(flow.server_load.service))
 
     @apply_event.register
@@ -165,7 +165,7 @@
         flow = self.flows.get(event.work_id)
         if flow is None or flow.server_load.server.server != event.server:
             return []
-        self.finish(event.work_id, flow, answered=False)
+        self.release_slot(event.work_id, flow, answered=False)
         self.forget(event.work_id, flow)
         return self.process_queue(self.pool_for(flow.server_load.service))
 
@@ -342,7 +342,7 @@
         self.add_flow(work_id, flow)
         return flow
 
-    def finish(self, work_id: bytes, flow: Flow, *, answered: bool) -> None:
+    def release_slot(self, work_id: bytes, flow: Flow, *, answered: bool) -> None:
         """Free the slot of some work and learn from its run time."""
         load = flow.server_load
         load.reserved_flows.pop(work_id, None)
@@ -364,7 +364,7 @@
 
     def lose(self, work_id: bytes, flow: Flow) -> list[Outcome]:
         """End placed work whose fate is not known."""
-        self.finish(work_id, flow, answered=False)
+        self.release_slot(work_id, flow, answered=False)
         self.forget(work_id, flow)
         if not flow.repeatable:
             self.lost.add(work_id, self.now)
