Rename forget to remove_flow

Says what is removed.

Rename: libs/placement/src/kumquatmux_placement/admission.py forget remove_flow

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -120,7 +120,7 @@
         for work_id, flow in list(self.flows.items()):
             if flow.server_load.service == service:
                 self.release_slot(work_id, flow, answered=False)
-                self.forget(work_id, flow)
+                self.remove_flow(work_id, flow)
 
     def pool_for(self, service: ServiceName) -> ServerPool:
         """Return what is known about a service."""
@@ -166,7 +166,7 @@
         if flow is None or flow.server_load.server.server != event.server:
             return []
         self.release_slot(event.work_id, flow, answered=False)
-        self.forget(event.work_id, flow)
+        self.remove_flow(event.work_id, flow)
         return self.process_queue(self.pool_for(flow.server_load.service))
 
     @apply_event.register
@@ -356,7 +356,7 @@
                 flow.caller, run_s
             )
 
-    def forget(self, work_id: bytes, flow: Flow) -> None:
+    def remove_flow(self, work_id: bytes, flow: Flow) -> None:
         """Stop counting the connection of some work."""
         del self.flows[work_id]
         flow.server_load.open_connections -= 1
@@ -365,7 +365,7 @@
     def lose(self, work_id: bytes, flow: Flow) -> list[Outcome]:
         """End placed work whose fate is not known."""
         self.release_slot(work_id, flow, answered=False)
-        self.forget(work_id, flow)
+        self.remove_flow(work_id, flow)
         if not flow.repeatable:
             self.lost.add(work_id, self.now)
         unknown = Unknown(
