Rename lose to end_with_unknown_outcome

Says how the work ends.

Rename: libs/placement/src/kumquatmux_placement/admission.py lose end_with_unknown_outcome

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -183,7 +183,7 @@
         if flow is None or flow.server_load.server.server != event.server:
             return []
         flow.server_load.start_backoff(self.now)
-        return self.lose(event.work_id, flow)
+        return self.end_with_unknown_outcome(event.work_id, flow)
 
     @apply_event.register
     def _(self, event: Cancel) -> list[Outcome]:
@@ -196,7 +196,7 @@
     def _(self, event: OutcomeLost) -> list[Outcome]:
         flow = self.flows.get(event.work_id)
         if flow is not None:
-            return self.lose(event.work_id, flow)
+            return self.end_with_unknown_outcome(event.work_id, flow)
         withdrawn = self.apply_event(Cancel(event.work_id))
         if not withdrawn:
             self.lost.add(event.work_id, self.now)
@@ -362,7 +362,7 @@
         flow.server_load.open_connections -= 1
         self.pool_for(flow.server_load.service).remove_if_unused(flow.server_load)
 
-    def lose(self, work_id: bytes, flow: Flow) -> list[Outcome]:
+    def end_with_unknown_outcome(self, work_id: bytes, flow: Flow) -> list[Outcome]:
         """End placed work whose fate is not known."""
         self.release_slot(work_id, flow, answered=False)
         self.remove_flow(work_id, flow)
