--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -73,7 +73,7 @@
         self.now = max(now, self.now)
         outcomes = self.apply_event(event)
         for outcome in outcomes:
-            self.log(outcome)
+            self.log_decision(outcome)
         return outcomes
 
     def use_settings(self, settings: PlacementSettings) -> None:
@@ -373,7 +373,7 @@
         )
         return [unknown, *self.process_queue(self.pool_for(flow.server_load.service))]
 
-    def log(self, outcome: Outcome) -> None:
+    def log_decision(self, outcome: Outcome) -> None:
         """Write the decision line of one outcome."""
         name = type(outcome).__name__.lower()
         fields = outcome._asdict()
