Rename refused to recently_refused

Says that only recent ids are kept.

Rename: libs/placement/src/kumquatmux_placement/admission.py refused recently_refused

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -56,7 +56,7 @@
         self.pools: dict[ServiceName, ServerPool] = {}
         self.flows: dict[bytes, Flow] = {}
         self.servers: dict[ServerId, ServerLoad] = {}
-        self.refused = RecentWorkIds(settings)
+        self.recently_refused = RecentWorkIds(settings)
         self.lost = RecentWorkIds(settings)
         self.now = float("-inf")
 
@@ -79,7 +79,7 @@
     def use_settings(self, settings: PlacementSettings) -> None:
         """Bring other settings into force; work in progress is not touched."""
         self.settings = settings
-        self.refused.settings = settings
+        self.recently_refused.settings = settings
         self.lost.settings = settings
         for pool in self.pools.values():
             pool.use_settings(settings)
@@ -247,7 +247,9 @@
     def admit(self, work: Work, pool: ServerPool) -> Outcome:
         """Place, hold or refuse new work."""
         size = pool.run_time_history.expected_class(work)
-        retry = work.attempt > 0 or self.refused.contains(work.work_id, self.now)
+        retry = work.attempt > 0 or self.recently_refused.contains(
+            work.work_id, self.now
+        )
         if not retry:
             pool.retry_budget.record_first_attempt()
         if not self.must_queue_behind(size, pool):
@@ -322,7 +324,7 @@
 
     def refuse_work(self, work: Work, reason: str, queued_at: float) -> Outcome:
         """Refuse work of which nothing was forwarded."""
-        self.refused.add(work.work_id, self.now)
+        self.recently_refused.add(work.work_id, self.now)
         return Refused(work.work_id, work.service, reason, self.now - queued_at)
 
     def add_flow(self, work_id: bytes, flow: Flow) -> None:
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -216,7 +216,7 @@
             <= SETTINGS.history_caller_limit
         )
         assert len(self.made.lost.ended_at) <= SETTINGS.ended_work_limit
-        assert len(self.made.refused.ended_at) <= SETTINGS.ended_work_limit
+        assert len(self.made.recently_refused.ended_at) <= SETTINGS.ended_work_limit
         connections = sum(load.open_connections for load in self.made.servers.values())
         assert connections <= len(self.open)
 
