Rename lost to unknown_outcomes

Says what was lost: the outcome.

Rename: libs/placement/src/kumquatmux_placement/admission.py lost unknown_outcomes

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -57,7 +57,7 @@
         self.flows: dict[bytes, Flow] = {}
         self.servers: dict[ServerId, ServerLoad] = {}
         self.recently_refused = RecentWorkIds(settings)
-        self.lost = RecentWorkIds(settings)
+        self.unknown_outcomes = RecentWorkIds(settings)
         self.now = float("-inf")
 
     def handle(self, event: Event, now: float) -> list[Outcome]:
@@ -80,7 +80,7 @@
         """Bring other settings into force; work in progress is not touched."""
         self.settings = settings
         self.recently_refused.settings = settings
-        self.lost.settings = settings
+        self.unknown_outcomes.settings = settings
         for pool in self.pools.values():
             pool.use_settings(settings)
 
@@ -199,7 +199,7 @@
             return self.end_with_unknown_outcome(event.work_id, flow)
         withdrawn = self.apply_event(Cancel(event.work_id))
         if not withdrawn:
-            self.lost.add(event.work_id, self.now)
+            self.unknown_outcomes.add(event.work_id, self.now)
         return withdrawn
 
     @apply_event.register
@@ -240,7 +240,9 @@
         queued = pool.line.get(work.work_id)
         if queued is not None:
             return [Held(work.work_id, work.service, queued.expires_at)]
-        if not work.repeatable and self.lost.contains(work.work_id, self.now):
+        if not work.repeatable and self.unknown_outcomes.contains(
+            work.work_id, self.now
+        ):
             return [Unknown(work.work_id, work.service, ServerId(""))]
         return None
 
@@ -369,7 +371,7 @@
         self.release_slot(work_id, flow, answered=False)
         self.remove_flow(work_id, flow)
         if not flow.repeatable:
-            self.lost.add(work_id, self.now)
+            self.unknown_outcomes.add(work_id, self.now)
         unknown = Unknown(
             work_id, flow.server_load.service, flow.server_load.server.server
         )
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -215,7 +215,7 @@
             len(pool.run_time_history.long_share_by_caller)
             <= SETTINGS.history_caller_limit
         )
-        assert len(self.made.lost.ended_at) <= SETTINGS.ended_work_limit
+        assert len(self.made.unknown_outcomes.ended_at) <= SETTINGS.ended_work_limit
         assert len(self.made.recently_refused.ended_at) <= SETTINGS.ended_work_limit
         connections = sum(load.open_connections for load in self.made.servers.values())
         assert connections <= len(self.open)
