Rename servers to load_by_server

Says what the mapping holds.

Rename: libs/placement/src/kumquatmux_placement/admission.py servers load_by_server

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -55,7 +55,7 @@
         self.random = random
         self.pools: dict[ServiceName, ServerPool] = {}
         self.flows: dict[bytes, Flow] = {}
-        self.servers: dict[ServerId, ServerLoad] = {}
+        self.load_by_server: dict[ServerId, ServerLoad] = {}
         self.recently_refused = RecentWorkIds(settings)
         self.unknown_outcomes = RecentWorkIds(settings)
         self.now = float("-inf")
@@ -107,7 +107,7 @@
         """
         self.now = max(now, self.now)
         for entry in digest:
-            load = self.servers.get(entry.server)
+            load = self.load_by_server.get(entry.server)
             if load is not None:
                 load.assume_slots(entry, self.now - age_s)
 
@@ -171,7 +171,7 @@
 
     @apply_event.register
     def _(self, event: Adopted) -> list[Outcome]:
-        load = self.servers.get(event.server)
+        load = self.load_by_server.get(event.server)
         if load is None or event.work_id in self.flows:
             return []
         self.add_flow(event.work_id, Flow(load, "", SizeClass.UNKNOWN, False))
@@ -207,15 +207,15 @@
         pool = self.pool_for(event.service)
         pool.update_servers(event.servers)
         for name, load in pool.server_loads.items():
-            self.servers[name] = load
-        for name, load in list(self.servers.items()):
+            self.load_by_server[name] = load
+        for name, load in list(self.load_by_server.items()):
             if load.service == event.service and name not in pool.server_loads:
-                del self.servers[name]
+                del self.load_by_server[name]
         return self.process_queue(pool)
 
     @apply_event.register
     def _(self, event: LoadReported) -> list[Outcome]:
-        load = self.servers.get(event.server)
+        load = self.load_by_server.get(event.server)
         if load is not None:
             load.apply_load_report(event, self.now)
         return []
@@ -339,7 +339,7 @@
         flow = self.flows.get(work_id)
         if flow is not None:
             return flow if flow.server_load.server.server == server else None
-        load = self.servers.get(server)
+        load = self.load_by_server.get(server)
         if load is None:
             return None
         flow = Flow(load, "", SizeClass.UNKNOWN, False)
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -113,14 +113,14 @@
     [placed] = made.handle(Submit(work(b"a")), 0.0)
     made.handle(Closed(b"a", placed.server), 0.5)
     made.handle(LoadReported(placed.server, busy, 0, age), 1.0)
-    assert (made.servers[placed.server].reported_busier_until > 1.0) is suspected
-    assert made.servers[placed.server].slots_in_use == 0
+    assert (made.load_by_server[placed.server].reported_busier_until > 1.0) is suspected
+    assert made.load_by_server[placed.server].slots_in_use == 0
 
 
 def test_a_server_slower_than_the_service_is_used_last():
     made = admission(server(1), server(2), server(3))
-    slow = made.servers[server(1).server]
-    for name in made.servers.values():
+    slow = made.load_by_server[server(1).server]
+    for name in made.load_by_server.values():
         name.mean_short_run_s = 0.02
     made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     slow.mean_short_run_s = 0.04
@@ -211,7 +211,7 @@
         made.handle(Started(work_id, placed.server), float(number))
         made.handle(Answered(work_id, placed.server), number + 0.01)
     [refused] = made.handle(Submit(work(b"c")), 3.0)
-    assert (refused.reason, made.servers[placed.server].slots_in_use) == (
+    assert (refused.reason, made.load_by_server[placed.server].slots_in_use) == (
         "no-server",
         0,
     )
@@ -224,7 +224,7 @@
     made.handle(Answered(b"a", placed.server), 0.1)
     made.handle(Submit(work(b"b")), 0.2)
     made.handle(Started(b"a", placed.server), 0.3)
-    assert made.servers[placed.server].slots_in_use == 2
+    assert made.load_by_server[placed.server].slots_in_use == 2
     assert isinstance(made.handle(Submit(work(b"c")), 0.4)[0], Held)
     assert made.handle(Answered(b"a", placed.server), 0.5) == []
 
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -168,7 +168,7 @@
     @rule(name=st.sampled_from(NAMES), number=st.integers(60_000, 60_003))
     def adopt(self, name, number):
         work_id = number.to_bytes(2)
-        if work_id not in self.open and name in self.made.servers:
+        if work_id not in self.open and name in self.made.load_by_server:
             self.repeatable[work_id] = False
             self.open[work_id] = name
             self.tell(Adopted(work_id, SERVICE, name))
@@ -217,7 +217,9 @@
         )
         assert len(self.made.unknown_outcomes.ended_at) <= SETTINGS.ended_work_limit
         assert len(self.made.recently_refused.ended_at) <= SETTINGS.ended_work_limit
-        connections = sum(load.open_connections for load in self.made.servers.values())
+        connections = sum(
+            load.open_connections for load in self.made.load_by_server.values()
+        )
         assert connections <= len(self.open)
 
 
