--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -249,10 +249,10 @@
     def admit(self, work: Work, pool: ServerPool) -> Outcome:
         """Place, hold or refuse new work."""
         size = pool.run_time_history.expected_class(work)
-        retry = work.attempt > 0 or self.recently_refused.contains(
+        is_retry = work.attempt > 0 or self.recently_refused.contains(
             work.work_id, self.now
         )
-        if not retry:
+        if not is_retry:
             pool.retry_budget.record_first_attempt()
         if not self.must_queue_behind(size, pool):
             selected = pool.choose_server(size, self.now, self.now)
@@ -260,7 +260,7 @@
                 return self.place_work(
                     QueuedWork(work, size, self.now, self.now), selected
                 )
-        reason = self.refusal_reason(work, pool, retry=retry)
+        reason = self.refusal_reason(work, pool, retry=is_retry)
         if reason:
             return self.refuse_work(work, reason, self.now)
         until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
