--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -260,7 +260,7 @@
                 return self.place_work(
                     QueuedWork(work, size, self.now, self.now), selected
                 )
-        reason = self.refusal_reason(work, pool, retry=is_retry)
+        reason = self.refusal_reason(work, pool, is_retry=is_retry)
         if reason:
             return self.refuse_work(work, reason, self.now)
         until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
@@ -274,7 +274,7 @@
             size is SizeClass.LONG and bool(pool.line.long_queue)
         )
 
-    def refusal_reason(self, work: Work, pool: ServerPool, *, retry: bool) -> str:
+    def refusal_reason(self, work: Work, pool: ServerPool, *, is_retry: bool) -> str:
         """Return why work cannot be held, empty if it can."""
         if not any(
             load.accepts_new_work(self.now) for load in pool.server_loads.values()
@@ -285,7 +285,7 @@
         hold_s = pool.line.max_hold_s(self.now)
         if pool.expected_wait_s(self.now) > min(hold_s, work.deadline - self.now):
             return "wait-too-long"
-        if retry and not pool.retry_budget.try_take_token():
+        if is_retry and not pool.retry_budget.try_take_token():
             return "retry-budget"
         return ""
 
