Rename withdrawn to cancelled

The variable holds the Cancelled outcome.

Rename: libs/placement/src/kumquatmux_placement/admission.py withdrawn cancelled

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -197,10 +197,10 @@
         flow = self.flows.get(event.work_id)
         if flow is not None:
             return self.end_with_unknown_outcome(event.work_id, flow)
-        withdrawn = self.apply_event(Cancel(event.work_id))
-        if not withdrawn:
+        cancelled = self.apply_event(Cancel(event.work_id))
+        if not cancelled:
             self.unknown_outcomes.add(event.work_id, self.now)
-        return withdrawn
+        return cancelled
 
     @apply_event.register
     def _(self, event: ServersChanged) -> list[Outcome]:
