--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -248,23 +248,23 @@
 
     def admit(self, work: Work, pool: ServerPool) -> Outcome:
         """Place, hold or refuse new work."""
-        size = pool.run_time_history.expected_class(work)
+        run_time_class = pool.run_time_history.expected_class(work)
         is_retry = work.attempt > 0 or self.recently_refused.contains(
             work.work_id, self.now
         )
         if not is_retry:
             pool.retry_budget.record_first_attempt()
-        if not self.must_queue_behind(size, pool):
-            selected = pool.choose_server(size, self.now, self.now)
+        if not self.must_queue_behind(run_time_class, pool):
+            selected = pool.choose_server(run_time_class, self.now, self.now)
             if selected is not None:
                 return self.place_work(
-                    QueuedWork(work, size, self.now, self.now), selected
+                    QueuedWork(work, run_time_class, self.now, self.now), selected
                 )
         reason = self.refusal_reason(work, pool, is_retry=is_retry)
         if reason:
             return self.refuse_work(work, reason, self.now)
         until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
-        pool.line.enqueue(QueuedWork(work, size, self.now, until))
+        pool.line.enqueue(QueuedWork(work, run_time_class, self.now, until))
         return Held(work.work_id, work.service, until)
 
     def must_queue_behind(self, size: SizeClass, pool: ServerPool) -> bool:
