--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -267,11 +267,11 @@
         pool.line.enqueue(QueuedWork(work, run_time_class, self.now, until))
         return Held(work.work_id, work.service, until)
 
-    def must_queue_behind(self, size: SizeClass, pool: ServerPool) -> bool:
+    def must_queue_behind(self, run_time_class: SizeClass, pool: ServerPool) -> bool:
         """Return whether work held earlier goes before new work of that size."""
         queued_first = pool.line.short_queue
         return bool(queued_first) or (
-            size is SizeClass.LONG and bool(pool.line.long_queue)
+            run_time_class is SizeClass.LONG and bool(pool.line.long_queue)
         )
 
     def refusal_reason(self, work: Work, pool: ServerPool, *, is_retry: bool) -> str:
