Rename until to expires_at

Says what happens at that time.

Rename: libs/placement/src/kumquatmux_placement/admission.py until expires_at

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -263,9 +263,9 @@
         reason = self.refusal_reason(work, pool, is_retry=is_retry)
         if reason:
             return self.refuse_work(work, reason, self.now)
-        until = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
-        pool.line.enqueue(QueuedWork(work, run_time_class, self.now, until))
-        return Held(work.work_id, work.service, until)
+        expires_at = min(self.now + self.settings.hold_ms / 1000.0, work.deadline)
+        pool.line.enqueue(QueuedWork(work, run_time_class, self.now, expires_at))
+        return Held(work.work_id, work.service, expires_at)
 
     def must_queue_behind(self, run_time_class: SizeClass, pool: ServerPool) -> bool:
         """Return whether work held earlier goes before new work of that size."""
