Rename name to server_id

The variable is a server id.

Rename: libs/placement/src/kumquatmux_placement/admission.py name server_id

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -206,11 +206,11 @@
     def _(self, event: ServersChanged) -> list[Outcome]:
         pool = self.pool_for(event.service)
         pool.update_servers(event.servers)
-        for name, load in pool.server_loads.items():
-            self.load_by_server[name] = load
-        for name, load in list(self.load_by_server.items()):
-            if load.service == event.service and name not in pool.server_loads:
-                del self.load_by_server[name]
+        for server_id, load in pool.server_loads.items():
+            self.load_by_server[server_id] = load
+        for server_id, load in list(self.load_by_server.items()):
+            if load.service == event.service and server_id not in pool.server_loads:
+                del self.load_by_server[server_id]
         return self.process_queue(pool)
 
     @apply_event.register
