Rename name to event_name

The variable is the event name of the log line.

Rename: libs/placement/src/kumquatmux_placement/admission.py name event_name

--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -379,7 +379,7 @@
 
     def log_decision(self, outcome: Outcome) -> None:
         """Write the decision line of one outcome."""
-        name = type(outcome).__name__.lower()
+        event_name = type(outcome).__name__.lower()
         fields = outcome._asdict()
         fields["work_id"] = outcome.work_id.hex()
-        decisions.log(name, **fields, revision=self.settings.revision)
+        decisions.log(event_name, **fields, revision=self.settings.revision)
