Reword the texts of the placement library

Docstrings described operations in figurative or elliptical terms. They now use the usual terms of load balancing and queueing; numbers, units and reasons stay.

--- a/libs/placement/src/kumquatmux_placement/__init__.py
+++ b/libs/placement/src/kumquatmux_placement/__init__.py
@@ -1,3 +1,3 @@
-"""Admission and placement of work on backend servers, free of I/O."""
+"""Admission and placement of work on backend servers, without I/O."""
 
 from __future__ import annotations
--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -39,15 +39,18 @@
 
 
 class Admission:
-    """Places work of any number of services, late and by exact slots.
+    """Places work of any number of services on servers with free slots.
+
+    Work that finds no free slot is held and bound to a server when a slot is released.
 
     Attributes:
-        settings: Settings of placement.
-        pools: What is known by service.
-        flows: Placed work whose connection is open.
-        servers: Where each backend server is counted.
-        refused: Work refused not long ago, so that a retry is known as one.
-        lost: Work whose outcome is unknown and that may not be repeated.
+        settings: Placement settings.
+        pools: Server pool of each service.
+        flows: Open flows of placed work, by work id.
+        load_by_server: Load of each backend server, by server id.
+        recently_refused: Ids of recently refused work, to recognize retries.
+        unknown_outcomes: Ids of work with an unknown outcome that must not be repeated.
+        now: Time of the latest event, in seconds.
     """
 
     def __init__(self, settings: PlacementSettings, random: random.Random) -> None:
@@ -61,14 +64,14 @@
         self.now = float("-inf")
 
     def handle(self, event: Event, now: float) -> list[Outcome]:
-        """Take in one event and return what it decided.
+        """Apply one event and return the outcomes.
 
         Args:
-            event: What happened.
-            now: The time, in seconds; it never goes back.
+            event: The event.
+            now: Current time, in seconds; an earlier time than the last one is ignored.
 
         Returns:
-            Outcomes for this work and for held work that could now be decided.
+            Outcomes for the work of the event and for held work that was decided.
         """
         self.now = max(now, self.now)
         outcomes = self.apply_event(event)
@@ -77,7 +80,7 @@
         return outcomes
 
     def use_settings(self, settings: PlacementSettings) -> None:
-        """Bring other settings into force; work in progress is not touched."""
+        """Apply new settings; work in progress stays as it is."""
         self.settings = settings
         self.recently_refused.settings = settings
         self.unknown_outcomes.settings = settings
@@ -90,7 +93,7 @@
         return min(deadlines, default=float("inf"))
 
     def digest(self, service: ServiceName) -> tuple[SlotDigest, ...]:
-        """Return what the backup of a service has to know, an entry a server."""
+        """Return the slot usage of each server of a service for the backup VM."""
         pool = self.pool_for(service)
         pool.release_expired_slots(self.now)
         return tuple(load.digest(self.now) for load in pool.server_loads.values())
@@ -98,12 +101,13 @@
     def restore(
         self, digest: tuple[SlotDigest, ...], now: float, *, age_s: float = 0.0
     ) -> None:
-        """Count the slots a lost placer had given until their work must be over.
+        """Count the slots given by a failed placer until their work should have ended.
 
         Args:
-            digest: What the lost placer told last, after ``ServersChanged``.
-            now: The time, in seconds.
-            age_s: How long ago it was told, in seconds.
+            digest: Slot usage that the failed placer reported last; call this after
+                ``ServersChanged``.
+            now: Current time, in seconds.
+            age_s: How long ago the usage was reported, in seconds.
         """
         self.now = max(now, self.now)
         for entry in digest:
@@ -112,9 +116,10 @@
                 load.assume_slots(entry, self.now - age_s)
 
     def stand_down(self, service: ServiceName, now: float) -> None:
-        """Forget the work of a service that another VM places from now on.
+        """Remove the placed work of a service that another VM places from now on.
 
-        Its answers no longer pass here, so that its slots would never be freed.
+        Its answers no longer pass through this VM, so its slots would never be
+        released.
         """
         self.now = max(now, self.now)
         for work_id, flow in list(self.flows.items()):
@@ -123,15 +128,15 @@
                 self.remove_flow(work_id, flow)
 
     def pool_for(self, service: ServiceName) -> ServerPool:
-        """Return what is known about a service."""
+        """Return the server pool of a service, created if needed."""
         if service not in self.pools:
             self.pools[service] = ServerPool(self.settings, service, self.random)
         return self.pools[service]
 
     @singledispatchmethod
     def apply_event(self, event: Event) -> list[Outcome]:
-        """Decide about one event at the current time."""
-        raise TypeError(f"no such event: {event!r}")
+        """Apply one event at the current time and return the outcomes."""
+        raise TypeError(f"unsupported event: {event!r}")
 
     @apply_event.register
     def _(self, event: Submit) -> list[Outcome]:
@@ -229,7 +234,7 @@
         return outcomes
 
     def repeat_outcome(self, work: Work, pool: ServerPool) -> list[Outcome] | None:
-        """Return the outcome of work that was submitted before, if it was."""
+        """Return the outcomes of work that was submitted before, if it was."""
         flow = self.flows.get(work.work_id)
         if flow is not None:
             server = flow.server_load.server.server
@@ -268,14 +273,14 @@
         return Held(work.work_id, work.service, expires_at)
 
     def must_queue_behind(self, run_time_class: SizeClass, pool: ServerPool) -> bool:
-        """Return whether work held earlier goes before new work of that size."""
+        """Return whether queued work goes before new work of this run-time class."""
         queued_first = pool.line.short_queue
         return bool(queued_first) or (
             run_time_class is SizeClass.LONG and bool(pool.line.long_queue)
         )
 
     def refusal_reason(self, work: Work, pool: ServerPool, *, is_retry: bool) -> str:
-        """Return why work cannot be held, empty if it can."""
+        """Return the reason code if work cannot be held, or an empty string."""
         if not any(
             load.accepts_new_work(self.now) for load in pool.server_loads.values()
         ):
@@ -290,7 +295,7 @@
         return ""
 
     def process_queue(self, pool: ServerPool) -> list[Outcome]:
-        """Refuse held work whose time is over and place what can be placed."""
+        """Place the queued work that can be placed and refuse work held too long."""
         pool.release_expired_slots(self.now)
         outcomes: list[Outcome] = []
         if not pool.line:
@@ -306,7 +311,7 @@
         return outcomes
 
     def place_work(self, queued: QueuedWork, selected: SelectedServer) -> Outcome:
-        """Bind work to a server for good and take a slot for it."""
+        """Bind work permanently to a server and reserve a slot for it."""
         work = queued.work
         flow = Flow(
             selected.server_load, work.caller, queued.run_time_class, work.repeatable
@@ -325,17 +330,21 @@
         )
 
     def refuse_work(self, work: Work, reason: str, queued_at: float) -> Outcome:
-        """Refuse work of which nothing was forwarded."""
+        """Refuse work of which nothing was forwarded to a server."""
         self.recently_refused.add(work.work_id, self.now)
         return Refused(work.work_id, work.service, reason, self.now - queued_at)
 
     def add_flow(self, work_id: bytes, flow: Flow) -> None:
-        """Count the connection of placed work."""
+        """Add the flow of placed work and count its connection."""
         self.flows[work_id] = flow
         flow.server_load.open_connections += 1
 
     def find_or_adopt_flow(self, work_id: bytes, server: ServerId) -> Flow | None:
-        """Return the flow of some work, adopted if it was not known."""
+        """Return the flow of work on a server; add the flow if the work is unknown.
+
+        Returns:
+            The flow, or None if it is bound to another server or the server is unknown.
+        """
         flow = self.flows.get(work_id)
         if flow is not None:
             return flow if flow.server_load.server.server == server else None
@@ -347,7 +356,7 @@
         return flow
 
     def release_slot(self, work_id: bytes, flow: Flow, *, answered: bool) -> None:
-        """Free the slot of some work and learn from its run time."""
+        """Release the slot of work and record its run time if it was answered."""
         load = flow.server_load
         load.reserved_flows.pop(work_id, None)
         if load.running_flows.pop(work_id, None) is None:
@@ -361,13 +370,13 @@
             )
 
     def remove_flow(self, work_id: bytes, flow: Flow) -> None:
-        """Stop counting the connection of some work."""
+        """Remove the flow of work and stop counting its connection."""
         del self.flows[work_id]
         flow.server_load.open_connections -= 1
         self.pool_for(flow.server_load.service).remove_if_unused(flow.server_load)
 
     def end_with_unknown_outcome(self, work_id: bytes, flow: Flow) -> list[Outcome]:
-        """End placed work whose fate is not known."""
+        """End placed work for which it is unknown whether it ran."""
         self.release_slot(work_id, flow, answered=False)
         self.remove_flow(work_id, flow)
         if not flow.repeatable:
@@ -378,7 +387,7 @@
         return [unknown, *self.process_queue(self.pool_for(flow.server_load.service))]
 
     def log_decision(self, outcome: Outcome) -> None:
-        """Write the decision line of one outcome."""
+        """Write the decision log line of one outcome."""
         event_name = type(outcome).__name__.lower()
         fields = outcome._asdict()
         fields["work_id"] = outcome.work_id.hex()
--- a/libs/placement/src/kumquatmux_placement/events.py
+++ b/libs/placement/src/kumquatmux_placement/events.py
@@ -1,4 +1,4 @@
-"""What admission is told and what it answers."""
+"""Events that admission handles and the outcomes that it returns."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class SizeClass(StrEnum):
-    """How long a piece of work is expected to run."""
+    """Class of the expected run time of a work item."""
 
     UNKNOWN = "unknown"
     SHORT = "short"
@@ -17,17 +17,18 @@
 
 
 class Work(NamedTuple):
-    """One piece of work that wants a backend server.
+    """Work item that needs a backend server.
 
     Attributes:
-        work_id: Unique name; the flow key on the packet path.
-        service: The service it is for.
-        caller: Who asks, for what is known of earlier work; empty if unknown.
-        arrival: When it arrived, in seconds.
-        deadline: When holding it ends, in seconds; infinite if the settings decide.
+        work_id: Unique id; the flow key on the packet path.
+        service: Service that the work is for.
+        caller: Caller, whose earlier work predicts the run time; empty if unknown.
+        arrival: When the work arrived, in seconds.
+        deadline: When it is refused if still held, in seconds; infinite if only the
+            settings decide.
         repeatable: Whether it may be run a second time.
-        size: Expected size.
-        attempt: 0 for the first try, 1 and more for retries after a refusal.
+        size: Expected run-time class.
+        attempt: 0 for the first attempt, 1 or more for retries after a refusal.
     """
 
     work_id: bytes
@@ -41,7 +42,10 @@
 
 
 class ServerState(StrEnum):
-    """What a backend server may be used for."""
+    """Whether a backend server may get new work; only a ready server may.
+
+    A stale server is gone, or its announcement is out of date.
+    """
 
     READY = "ready"
     DRAINING = "draining"
@@ -49,15 +53,15 @@
 
 
 class Server(NamedTuple):
-    """A backend server as placement sees it.
+    """Backend server as announced to placement.
 
     Attributes:
-        server: Its name.
+        server: Id of the server.
         zone: Its availability zone.
-        slots: Pieces of work it runs at once.
-        connections: Connections it holds at most.
-        state: Whether new work may go to it.
-        since: When it announced itself, in seconds, for slow start.
+        slots: How many work items it runs at once.
+        connections: Maximum number of open connections.
+        state: Whether it may get new work.
+        since: When it announced itself, in seconds; slow start begins then.
     """
 
     server: ServerId
@@ -69,34 +73,34 @@
 
 
 class Submit(NamedTuple):
-    """New work asks for a server."""
+    """New work is submitted for placement."""
 
     work: Work
 
 
 class Started(NamedTuple):
-    """Placed work (or later work on the same flow) takes a slot of its server."""
+    """Placed work, or later work on the same flow, takes a slot of its server."""
 
     work_id: bytes
     server: ServerId
 
 
 class Answered(NamedTuple):
-    """Work began to be answered: its slot is free, its connection stays."""
+    """The answer to work began: its slot is released, its connection stays open."""
 
     work_id: bytes
     server: ServerId
 
 
 class Closed(NamedTuple):
-    """The connection of some work is gone, with its slot if it still held one."""
+    """The connection of work was closed; a slot that it still held is released."""
 
     work_id: bytes
     server: ServerId
 
 
 class Adopted(NamedTuple):
-    """Work placed by another VM is counted here from now on."""
+    """Work that another VM placed is counted by this VM from now on."""
 
     work_id: bytes
     service: ServiceName
@@ -111,31 +115,31 @@
 
 
 class Cancel(NamedTuple):
-    """The caller gave up."""
+    """The caller gave up waiting."""
 
     work_id: bytes
 
 
 class OutcomeLost(NamedTuple):
-    """Nobody can tell whether placed work ran."""
+    """It cannot be determined whether placed work ran."""
 
     work_id: bytes
 
 
 class ServersChanged(NamedTuple):
-    """The backend servers of a service, all of them."""
+    """The backend servers of a service changed; lists all of them."""
 
     service: ServiceName
     servers: tuple[Server, ...]
 
 
 class LoadReported(NamedTuple):
-    """A server's own report, which may be late or wrong.
+    """Load report of a backend server, which may be late or wrong.
 
     Attributes:
-        server: Which server.
-        busy: Slots it says are in use.
-        connections: Connections it says are open.
+        server: Id of the server.
+        busy: Slots that the server says are in use.
+        connections: Connections that the server says are open.
         age: Seconds since the report was made, as far as known.
     """
 
@@ -146,13 +150,13 @@
 
 
 class SlotDigest(NamedTuple):
-    """What a placer tells its backup about one backend server.
+    """Slot usage of one backend server, as its placer reports it to the backup VM.
 
     Attributes:
-        server: Which server.
-        busy: Slots in use.
-        long: How many of them are in use by long work.
-        connections: Connections open.
+        server: Id of the server.
+        busy: Number of slots in use.
+        long: Number of slots in use by long work.
+        connections: Number of open connections.
     """
 
     server: ServerId
@@ -162,7 +166,7 @@
 
 
 class Tick(NamedTuple):
-    """Time has passed; deadlines are looked at."""
+    """Time has passed; deadlines are checked."""
 
 
 Event = (
@@ -181,7 +185,16 @@
 
 
 class Placed(NamedTuple):
-    """Work was given to a server; it is never given to another one."""
+    """Work was bound to a server; it is never bound to another one.
+
+    Attributes:
+        work_id: Id of the work.
+        service: Service that the work is for.
+        server: Id of the server.
+        reason: Reason code of the selection.
+        candidates: Number of servers that could have been selected.
+        waited: How long the work was held, in seconds.
+    """
 
     work_id: bytes
     service: ServiceName
@@ -192,7 +205,13 @@
 
 
 class Held(NamedTuple):
-    """Work waits for a slot; another outcome follows by its deadline."""
+    """Work waits for a free slot; another outcome follows by its deadline.
+
+    Attributes:
+        work_id: Id of the work.
+        service: Service that the work is for.
+        until: Deadline, in seconds.
+    """
 
     work_id: bytes
     service: ServiceName
@@ -200,14 +219,21 @@
 
 
 class Cancelled(NamedTuple):
-    """Work was withdrawn while held: it did not run."""
+    """Work was cancelled while it was held: it did not run."""
 
     work_id: bytes
     service: ServiceName
 
 
 class Refused(NamedTuple):
-    """Work was refused before any of it ran."""
+    """Work was refused before any of it ran.
+
+    Attributes:
+        work_id: Id of the work.
+        service: Service that the work is for.
+        reason: Reason code of the refusal.
+        waited: How long the work was held, in seconds.
+    """
 
     work_id: bytes
     service: ServiceName
@@ -216,7 +242,7 @@
 
 
 class Unknown(NamedTuple):
-    """Work was placed and its fate is not known: never ``not run``."""
+    """Work was placed, but whether it ran is unknown; it must not count as not run."""
 
     work_id: bytes
     service: ServiceName
--- a/libs/placement/src/kumquatmux_placement/recent_peak.py
+++ b/libs/placement/src/kumquatmux_placement/recent_peak.py
@@ -1,16 +1,16 @@
-"""The highest of a count in the recent past."""
+"""Maximum of a count over a recent time window."""
 
 from __future__ import annotations
 
 
 class RecentPeak:
-    """Highest value noted in the last one to two spans of time.
+    """Maximum of a count over the last one to two time windows.
 
     Attributes:
-        span_s: Length of a span, in seconds.
-        current: Highest value of the span that runs now.
-        previous: Highest value of the span before.
-        began: When the span that runs now began, in seconds.
+        window_s: Length of a time window, in seconds.
+        current_peak: Maximum in the current window.
+        previous_peak: Maximum in the previous window.
+        window_start: Start of the current window, in seconds.
     """
 
     def __init__(self, window_s: float) -> None:
@@ -20,7 +20,7 @@
         self.window_start = float("-inf")
 
     def record(self, value: int, now: float) -> None:
-        """Take in the value the count has now."""
+        """Record the current value of the count."""
         if now - self.window_start >= self.window_s:
             skipped_window = now - self.window_start >= 2 * self.window_s
             self.previous_peak = 0 if skipped_window else self.current_peak
@@ -29,6 +29,6 @@
         self.current_peak = max(self.current_peak, value)
 
     def peak(self, now: float) -> int:
-        """Return the highest value of the recent past."""
+        """Return the maximum over the current and the previous window."""
         self.record(0, now)
         return max(self.current_peak, self.previous_peak)
--- a/libs/placement/src/kumquatmux_placement/recent_work.py
+++ b/libs/placement/src/kumquatmux_placement/recent_work.py
@@ -1,4 +1,4 @@
-"""Names of ended work, for a bounded time and in bounded memory."""
+"""Ids of recently ended work, for a bounded time and in bounded memory."""
 
 from __future__ import annotations
 
@@ -8,10 +8,11 @@
 
 
 class RecentWorkIds:
-    """Remembers ended work against repeats, oldest first.
+    """Ids of recently ended work, by which repeated submissions are recognized.
 
     Attributes:
-        ended: When each piece of work ended, in seconds.
+        settings: Placement settings.
+        ended_at: When each work item ended, by work id, in seconds; oldest first.
     """
 
     def __init__(self, settings: PlacementSettings) -> None:
@@ -19,7 +20,7 @@
         self.ended_at: OrderedDict[bytes, float] = OrderedDict()
 
     def add(self, work_id: bytes, now: float) -> None:
-        """Remember work from now on, and forget the oldest if there is too much."""
+        """Add a work id at time ``now``; drop the oldest if there are too many."""
         self.ended_at.pop(work_id, None)
         self.ended_at[work_id] = now
         self.evict_expired(now)
@@ -27,12 +28,12 @@
             self.ended_at.popitem(last=False)
 
     def contains(self, work_id: bytes, now: float) -> bool:
-        """Return whether work is remembered."""
+        """Return whether a work id is still remembered."""
         self.evict_expired(now)
         return work_id in self.ended_at
 
     def evict_expired(self, now: float) -> None:
-        """Forget work that ended too long ago."""
+        """Remove the ids of work that ended more than ``ended_work_ttl_ms`` ago."""
         expired_until = now - self.settings.ended_work_ttl_ms / 1000.0
         while self.ended_at and next(iter(self.ended_at.values())) <= expired_until:
             self.ended_at.popitem(last=False)
--- a/libs/placement/src/kumquatmux_placement/retry_budget.py
+++ b/libs/placement/src/kumquatmux_placement/retry_budget.py
@@ -1,4 +1,4 @@
-"""A budget that keeps retries a small share of first attempts."""
+"""Budget that limits retries to a small share of first attempts."""
 
 from __future__ import annotations
 
@@ -6,14 +6,19 @@
 
 
 class RetryBudget:
-    """Token bucket filled by first attempts and emptied by retries."""
+    """Token bucket that first attempts fill and retries empty.
+
+    Attributes:
+        settings: Placement settings.
+        tokens: Number of retries allowed now.
+    """
 
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
         self.tokens = float(settings.retry_burst)
 
     def record_first_attempt(self) -> None:
-        """Count one first attempt."""
+        """Add ``retry_ratio`` tokens, up to ``retry_burst`` in total."""
         self.tokens = min(
             self.tokens + self.settings.retry_ratio,
             float(self.settings.retry_burst),
--- a/libs/placement/src/kumquatmux_placement/run_time_history.py
+++ b/libs/placement/src/kumquatmux_placement/run_time_history.py
@@ -1,4 +1,4 @@
-"""What earlier work of a caller says about the size of its next."""
+"""Run times of earlier work, which predict whether a caller's next work is long."""
 
 from __future__ import annotations
 
@@ -12,11 +12,14 @@
 
 
 class RunTimeHistory:
-    """Share of long work by caller, for one service, in bounded memory.
+    """Run-time statistics of answered work of one service, in bounded memory.
 
     Attributes:
-        shares: Moving share of long work by caller, least recently used first.
-        mean_s: Moving mean run time of short work, in seconds; 0 before the first.
+        settings: Placement settings.
+        long_share_by_caller: Moving share of long work; least recently updated
+            caller first.
+        mean_short_run_s: Moving mean run time of short work, in seconds; 0 before the
+            first.
     """
 
     def __init__(self, settings: PlacementSettings) -> None:
@@ -25,7 +28,7 @@
         self.mean_short_run_s = 0.0
 
     def expected_class(self, work: Work) -> SizeClass:
-        """Return the size the work names, or the one its caller's history shows."""
+        """Return the class stated by the work, or the one predicted from its caller."""
         if work.size is not SizeClass.UNKNOWN:
             return work.size
         share = self.long_share_by_caller.get(work.caller)
@@ -34,7 +37,7 @@
         return SizeClass.LONG if share >= LONG_SHARE_THRESHOLD else SizeClass.SHORT
 
     def record_run_time(self, caller: str, run_s: float) -> None:
-        """Take in one finished piece of work that ran for ``run_s`` seconds."""
+        """Record the run time of an answered work item, in seconds."""
         is_long = run_s * 1000.0 >= self.settings.long_ms
         if not is_long:
             self.mean_short_run_s += (run_s - self.mean_short_run_s) * (
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/server_load.py
@@ -1,4 +1,4 @@
-"""What a placer knows of one backend server."""
+"""Load of one backend server."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
 
 
 class Flow:
-    """Work that was placed and the slot it holds.
+    """Connection that is bound to a backend server.
 
     Attributes:
-        load: The backend server it is bound to.
-        caller: Who asked.
-        size: Its expected size.
-        repeatable: Whether it may be run a second time.
-        since: When it took its slot, in seconds.
+        server_load: Load of the server that it is bound to.
+        caller: Caller of the work; empty if unknown.
+        run_time_class: Expected run-time class of the work.
+        repeatable: Whether the work may be run a second time.
+        slot_taken_at: When its work last took a slot, in seconds.
     """
 
     __slots__ = (
@@ -53,21 +53,29 @@
 
 
 class ServerLoad:
-    """Slots and connections of one backend server, as its placer counts them.
+    """Slots and connections in use on one backend server, as counted by its placer.
+
+    The placer of a service is the VM that places the work of the service.
 
     Attributes:
+        settings: Placement settings.
         server: The server as last announced.
-        service: The service it works for.
-        history: What earlier work of the service shows.
-        reserved: Placed work that has not started, oldest first.
-        running: Started work without an answer, oldest first.
-        assumed: When each slot taken by a lost placer counts as free, in seconds.
-        connections: Open connections.
-        mean_s: Moving mean run time of its short work, in seconds; 0 before the first.
-        peak: Most slots in use while reports that count were made.
-        blocked_until: When the pause after shedding ends, in seconds.
+        service: Service that the server belongs to.
+        history: Run times of earlier work of the service.
+        reserved_flows: Flows whose work has not started, by work id, oldest first.
+        running_flows: Flows whose work has started and is unanswered, by work id,
+            oldest first.
+        assumed_slot_expiries: When to release each slot that a failed placer gave, in
+            seconds.
+        open_connections: Number of open connections.
+        mean_short_run_s: Moving mean run time of its short work, in seconds; 0 before
+            the first.
+        slots_in_use_peak: Peak of slots in use over the period for which load reports
+            count.
+        backoff_until: End of the pause in placement after shed work, in seconds.
         backoff_s: Length of the last such pause, in seconds.
-        suspected_until: Until when its own report says it is busier, in seconds.
+        reported_busier_until: Until when the server is selected last because it
+            reported more slots in use than counted, in seconds.
     """
 
     def __init__(
@@ -92,7 +100,7 @@
         self.reported_busier_until = float("-inf")
 
     def release_expired_slots(self, now: float) -> None:
-        """Free the slots of silent, stuck and assumed work."""
+        """Release the slots whose time limit has passed."""
         _remove_expired(self.reserved_flows, self.settings.reserve_ms, now)
         _remove_expired(self.running_flows, self.settings.stuck_ms, now)
         while self.assumed_slot_expiries and self.assumed_slot_expiries[0] <= now:
@@ -100,7 +108,7 @@
 
     @property
     def slots_in_use(self) -> int:
-        """Slots in use."""
+        """Number of slots in use."""
         return (
             len(self.reserved_flows)
             + len(self.running_flows)
@@ -108,24 +116,24 @@
         )
 
     def reserve_slot(self, work_id: bytes, flow: Flow, now: float) -> None:
-        """Give a slot to placed work."""
+        """Reserve a slot for placed work."""
         flow.slot_taken_at = now
         self.reserved_flows[work_id] = flow
         self.slots_in_use_peak.record(self.slots_in_use, now)
 
     def start_work(self, work_id: bytes, flow: Flow, now: float) -> None:
-        """Give a slot to work that starts, beyond the server's slots if need be."""
+        """Give a slot to work that starts, even if the server has none free."""
         self.reserved_flows.pop(work_id, None)
         flow.slot_taken_at = now
         self.running_flows[work_id] = flow
         self.slots_in_use_peak.record(self.slots_in_use, now)
 
     def is_in_slow_start(self, now: float) -> bool:
-        """Return whether the server announced itself not long ago."""
+        """Return whether the server announced itself less than ``warm_ms`` ago."""
         return now - self.server.since < self.settings.warm_ms / 1000.0
 
     def accepts_new_work(self, now: float) -> bool:
-        """Return whether new work may go to the server at all."""
+        """Return whether the server accepts new work, apart from free slots."""
         return (
             self.server.state is ServerState.READY
             and self.backoff_until <= now
@@ -133,7 +141,7 @@
         )
 
     def free_slots(self, now: float) -> int:
-        """Return how many new pieces of work the server can take."""
+        """Return how many new work items the server can take."""
         if not self.accepts_new_work(now):
             return 0
         return max(
@@ -141,10 +149,11 @@
         )
 
     def slots_free_on_arrival(self, now: float) -> int:
-        """Return the slots in another zone that will be free after the way there.
+        """Return the slots in another zone that should be free when new work arrives.
 
-        Work that has run for about the mean time of short work is expected to end
-        within the link; no more than the running slots are given again.
+        Work that has run for about the mean run time of short work is expected to end
+        while new work is on the link. Slots in use beyond those of the server are
+        subtracted, so that none is reused twice.
         """
         start_s, end_s = self.expected_end_ages_s()
         if start_s >= end_s:
@@ -157,7 +166,10 @@
         return max(slots_about_to_end - slots_over_limit, 0)
 
     def expected_end_ages_s(self) -> tuple[float, float]:
-        """Return from and up to which age work is expected to end, in seconds."""
+        """Return the lowest and highest age at which work should end, in seconds.
+
+        Both are 0 if slots of this server are not reused early.
+        """
         is_local = not self.settings.zone or self.server.zone == self.settings.zone
         if (
             is_local
@@ -172,7 +184,7 @@
         )
 
     def long_work_slots(self, now: float) -> int:
-        """Return the slots in use by work known or found to be long."""
+        """Return the slots in use by work expected or found to be long."""
         long_if_taken_by = now - self.settings.long_ms / 1000.0
         reserved_long = sum(
             flow.run_time_class is SizeClass.LONG
@@ -185,34 +197,34 @@
         )
 
     def record_run_time(self, run_s: float) -> None:
-        """Take in the run time of answered work, in seconds."""
+        """Record the run time of answered work, in seconds."""
         if run_s * 1000.0 < self.settings.long_ms:
             self.mean_short_run_s += (run_s - self.mean_short_run_s) * (
                 RUN_TIME_SAMPLE_WEIGHT if self.mean_short_run_s else 1.0
             )
 
     def is_slow(self) -> bool:
-        """Return whether its short work runs much longer than the service's."""
+        """Return whether its short work runs much longer than the service's mean."""
         return (
             self.mean_short_run_s
             > self.history.mean_short_run_s * self.settings.slow_server_factor
         )
 
     def start_backoff(self, now: float) -> None:
-        """Pause placing, longer with each shed work in a row."""
+        """Pause placement after shed work, for longer each time in a row."""
         first_s = self.settings.shed_backoff_ms / 1000.0
         limit_s = self.settings.shed_backoff_limit_ms / 1000.0
         self.backoff_s = min(max(self.backoff_s * 2.0, first_s), limit_s)
         self.backoff_until = now + self.backoff_s
 
     def apply_load_report(self, report: LoadReported, now: float) -> None:
-        """Trust the server less while it says that it is busier than counted."""
+        """Select the server last while it reports more slots in use than counted."""
         fresh_s = self.settings.report_fresh_ms / 1000.0 - report.age
         if report.busy > max(self.slots_in_use, self.slots_in_use_peak.peak(now)):
             self.reported_busier_until = now + fresh_s
 
     def digest(self, now: float) -> SlotDigest:
-        """Return what the backup has to know."""
+        """Return the slots and connections in use, for the backup VM."""
         return SlotDigest(
             self.server.server,
             self.slots_in_use,
@@ -221,7 +233,12 @@
         )
 
     def assume_slots(self, digest: SlotDigest, reported_at: float) -> None:
-        """Count the slots that a lost placer had given when it told of them."""
+        """Count the slots given by a failed placer until their work should have ended.
+
+        Args:
+            digest: Slot usage that the failed placer reported last.
+            reported_at: When it was reported, in seconds.
+        """
         short_until = reported_at + self.settings.assumed_short_run_ms / 1000.0
         long_until = reported_at + self.settings.assumed_long_run_ms / 1000.0
         known_slots = len(self.reserved_flows) + len(self.running_flows)
@@ -231,7 +248,7 @@
         ] * digest.long
 
     def next_slot_release(self, now: float) -> float:
-        """Return when a slot may become free without an event, in seconds."""
+        """Return when a slot may next be released without an event, in seconds."""
         times = [self.backoff_until, *self.assumed_slot_expiries[:1]]
         times += _first_expiry(self.reserved_flows.values(), self.settings.reserve_ms)
         times += _first_expiry(self.running_flows.values(), self.settings.stuck_ms)
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/server_pool.py
@@ -1,4 +1,4 @@
-"""The backend servers of one service and the work held for them."""
+"""Backend servers and queued work of one service."""
 
 from __future__ import annotations
 
@@ -20,15 +20,16 @@
 
 
 class ServerPool:
-    """All that placement knows about one service.
+    """Placement state of one service.
 
     Attributes:
-        service: Its name.
-        loads: Its backend servers, and those gone that still hold flows.
-        line: Work held until a slot frees.
-        history: What callers' earlier work says about the next.
-        budget: What retries may still be held.
-        short_peak: Most short work in progress in the recent past.
+        settings: Placement settings.
+        service: Name of the service.
+        server_loads: Loads of its servers and of removed ones with open connections.
+        line: Work that waits for a free slot.
+        run_time_history: Run times of earlier work of the service, by caller.
+        retry_budget: Limit on the retries that may be queued.
+        short_work_peak: Recent peak of the slots used by short work.
     """
 
     def __init__(
@@ -44,7 +45,7 @@
         self.short_work_peak = RecentPeak(settings.short_work_window_ms / 1000.0)
 
     def use_settings(self, settings: PlacementSettings) -> None:
-        """Bring other settings into force for everything known here."""
+        """Apply new settings to the pool and its servers."""
         self.settings = settings
         self.run_time_history.settings = settings
         self.retry_budget.settings = settings
@@ -52,7 +53,7 @@
             load.settings = settings
 
     def update_servers(self, servers: tuple[Server, ...]) -> None:
-        """Take in the announced servers; one that is gone gets nothing new."""
+        """Replace the list of servers; those missing from it get no new work."""
         announced_ids = {server.server for server in servers}
         for server_id, load in list(self.server_loads.items()):
             if server_id not in announced_ids:
@@ -68,19 +69,19 @@
                 self.server_loads[server.server] = load
 
     def remove_if_unused(self, load: ServerLoad) -> None:
-        """Forget a server that is gone and holds no flow."""
+        """Remove a stale server that has no open connections."""
         if load.server.state is ServerState.STALE and load.open_connections == 0:
             self.server_loads.pop(load.server.server, None)
 
     def release_expired_slots(self, now: float) -> None:
-        """Free slots whose time is over."""
+        """Release the slots whose time limit has passed."""
         for load in self.server_loads.values():
             load.release_expired_slots(now)
 
     def choose_server(
         self, size: SizeClass, since: float, now: float
     ) -> SelectedServer | None:
-        """Return a server for work held since some time, if it may be placed now."""
+        """Return a server for work queued at ``queued_at``, if it can be placed now."""
         if size is SizeClass.LONG and not self.has_slots_for_long_work(now):
             return None
         return select_server(
@@ -92,14 +93,18 @@
         )
 
     def record_short_work(self, now: float) -> None:
-        """Remember how much short work is in progress."""
+        """Record how many slots short work uses now."""
         loads = self.server_loads.values()
         self.short_work_peak.record(
             sum(load.slots_in_use - load.long_work_slots(now) for load in loads), now
         )
 
     def has_slots_for_long_work(self, now: float) -> bool:
-        """Return whether one more piece of long work leaves enough slots clear."""
+        """Return whether long work may take another slot.
+
+        Slots are kept clear for short work: as many as short work used recently, up to
+        the slots of ``clear_servers`` servers. Long work may always use one slot.
+        """
         accepting_loads = [
             load for load in self.server_loads.values() if load.accepts_new_work(now)
         ]
@@ -117,7 +122,10 @@
         return long_slots_in_use < max(slots - slots_kept_clear, 1)
 
     def may_spill_to_other_zone(self, queued_at: float, now: float) -> bool:
-        """Return whether waiting for a near slot costs more than the link."""
+        """Return whether waiting for a slot in this zone costs more time than the link.
+
+        It is also true if no server in this zone accepts new work.
+        """
         link_s = self.settings.link_cost_ms / 1000.0
         if now >= queued_at + link_s:
             return True
@@ -133,7 +141,7 @@
         ) * self.run_time_history.mean_short_run_s / slots > link_s
 
     def expected_wait_s(self, now: float) -> float:
-        """Return how long work that is held from now on will wait, in seconds."""
+        """Return the expected wait of work that is queued now, in seconds."""
         accepting_loads = [
             load for load in self.server_loads.values() if load.accepts_new_work(now)
         ]
@@ -145,7 +153,7 @@
     def next_placeable_work(
         self, now: float
     ) -> tuple[QueuedWork, SelectedServer] | None:
-        """Return the held work that can be placed now and its server."""
+        """Return the queued work that can be placed now and its server."""
         for queue in self.line.queues():
             head = next(iter(queue.values()), None)
             if head is None:
@@ -156,7 +164,10 @@
         return None
 
     def next_deadline(self, now: float) -> float:
-        """Return when held work may have to be looked at, in seconds."""
+        """Return when queued work must next be checked, in seconds.
+
+        The time is infinite if no work is queued.
+        """
         if not self.line:
             return float("inf")
         times = [self.line.next_deadline()]
@@ -165,7 +176,7 @@
         return min(times)
 
     def next_spill_times(self, now: float) -> list[float]:
-        """Return when the first held work may go to another zone, in seconds."""
+        """Return when the queue heads may go to another zone, in seconds."""
         if not self.settings.zone:
             return []
         link_s = self.settings.link_cost_ms / 1000.0
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/server_selection.py
@@ -1,4 +1,4 @@
-"""Which backend server new work goes to."""
+"""Selection of the backend server for new work."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 
 
 class SelectedServer(NamedTuple):
-    """The server picked for some work.
+    """Backend server selected for a work item, with the reason.
 
     Attributes:
-        load: The server.
-        reason: Why it was picked, for the decision line.
-        candidates: How many servers could have been picked.
+        server_load: Load of the selected server.
+        reason: Reason code for the decision log.
+        candidate_count: Number of servers that could have been selected.
     """
 
     server_load: ServerLoad
@@ -32,14 +32,16 @@
     *,
     allow_other_zones: bool,
 ) -> SelectedServer | None:
-    """Return the best server with a free slot, if there is one.
+    """Return the least loaded server with a free slot, if there is one.
+
+    Servers in this VM's availability zone are preferred.
 
     Args:
-        loads: The servers of the service.
-        settings: Settings of placement.
-        random: Breaks ties.
-        now: The time, in seconds.
-        may_spill: Whether a server in another availability zone will do.
+        server_loads: Loads of the backend servers of the service.
+        settings: Placement settings.
+        random: Random source that breaks ties.
+        now: Current time, in seconds.
+        allow_other_zones: Whether servers in other availability zones may be selected.
     """
     with_free_slot = [load for load in server_loads if load.free_slots(now) > 0]
     local = [load for load in with_free_slot if is_in_preferred_zone(load, settings)]
@@ -55,7 +57,7 @@
 
 
 def is_in_preferred_zone(load: ServerLoad, settings: PlacementSettings) -> bool:
-    """Return whether the server is in this VM's zone, or zones do not matter."""
+    """Return whether the server is in this VM's zone; true if no zone is set."""
     return not settings.zone or load.server.zone == settings.zone
 
 
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -1,4 +1,4 @@
-"""What operators can set about admission and placement."""
+"""Settings of admission and placement."""
 
 from __future__ import annotations
 
@@ -8,37 +8,39 @@
 
 
 class PlacementSettings(NamedTuple):
-    """Settings of admission and placement, the same for all services of a VM.
+    """Settings of admission and placement for a service.
 
     Attributes:
         zone: Availability zone of this VM; empty for no preference.
-        revision: Settings revision, for the decision lines.
+        revision: Settings revision, for the decision log.
         hold_ms: How long work without a free slot is held before it is refused.
-        standing_queue_hold_ms: How long it is held while held work does not run out.
-        standing_queue_after_ms: After how long without an empty line that begins.
-        queue_limit: Pieces of work held for one service at most.
-        long_ms: Work that runs longer counts as long.
-        clear_servers: Servers whose worth of slots is kept clear of long work, if
-            short work needed that many of late.
-        short_work_window_ms: For how long slots stay clear after short work used them.
-        warm_ms: For how long a new server is used last.
-        shed_backoff_ms: First pause in placing after a server shed work.
+        standing_queue_hold_ms: How long it is held while the queue is a standing queue.
+        standing_queue_after_ms: A queue that is not empty for this time is a standing
+            queue.
+        queue_limit: Maximum number of work items held for one service.
+        long_ms: Work that runs for at least this time counts as long.
+        clear_servers: Number of servers whose slots are kept clear of long work, if
+            short work needed that many recently.
+        short_work_window_ms: How long slots are kept clear after short work used them.
+        warm_ms: How long a new server is selected last (slow start).
+        shed_backoff_ms: First pause in placement after a server shed work.
         shed_backoff_limit_ms: Longest such pause.
-        link_cost_ms: What a server in another availability zone costs in time.
-        early_slot_reuse: Whether a slot in another availability zone is given again while
-            its answer is expected to be on the way.
-        reserve_ms: How long an opened but silent connection keeps its slot.
-        stuck_ms: How long unanswered work keeps its slot.
-        assumed_short_run_ms: How long short work of a lost placer is assumed to run.
-        assumed_long_run_ms: How long its long work is assumed to run.
+        link_cost_ms: Time that using a server in another availability zone costs.
+        early_slot_reuse: Whether a slot in another availability zone is given to new
+            work while its answer is expected to be on the way.
+        reserve_ms: How long work that was placed but has not started keeps its slot.
+        stuck_ms: How long started but unanswered work keeps its slot.
+        assumed_short_run_ms: Assumed run time of short work of a failed placer.
+        assumed_long_run_ms: Assumed run time of long work of a failed placer.
         report_fresh_ms: Age up to which a load report counts.
-        slow_server_factor: From how many times the service's mean run time of short work on
-            a server counts as slow.
+        slow_server_factor: A server is slow if the mean run time of its short work is
+            more than this many times the mean of the service.
         retry_ratio: Retries allowed for each first attempt.
         retry_burst: Retries allowed at once.
-        history_caller_limit: Callers whose work sizes are remembered for one service.
-        ended_work_ttl_ms: How long ended work is remembered against repeats.
-        ended_work_limit: Pieces of ended work remembered at most.
+        history_caller_limit: Maximum number of callers in the run-time history of one
+            service.
+        ended_work_ttl_ms: How long the ids of ended work are remembered.
+        ended_work_limit: Maximum number of ids of ended work that are remembered.
     """
 
     zone: ZoneName = ZoneName("")
--- a/libs/placement/src/kumquatmux_placement/wait_queue.py
+++ b/libs/placement/src/kumquatmux_placement/wait_queue.py
@@ -1,4 +1,4 @@
-"""Work that is held until a slot frees."""
+"""Queue of work that waits for a free slot."""
 
 from __future__ import annotations
 
@@ -11,13 +11,13 @@
 
 
 class QueuedWork(NamedTuple):
-    """One held piece of work.
+    """Work item that waits for a free slot.
 
     Attributes:
-        work: The work.
-        size: Its expected size.
-        since: When it was first held, in seconds.
-        until: When it is refused, in seconds.
+        work: The work item.
+        run_time_class: Its expected run-time class.
+        queued_at: When it was queued, in seconds.
+        expires_at: When it is refused if it was not placed, in seconds.
     """
 
     work: Work
@@ -27,16 +27,18 @@
 
 
 class WaitQueue:
-    """The held work of one service, by expected size and then by arrival.
+    """Queued work of one service: long work last, otherwise in order of arrival.
 
-    A queue that has not been empty for a while stands: demand is above what the
-    servers can do, and queued longer helps nobody. Then work is held for less time.
+    A queue that has not been empty for ``standing_queue_after_ms`` is a standing queue:
+    demand exceeds the capacity of the servers, and a longer wait does not help. Work is
+    then held for a shorter time.
 
     Attributes:
-        short: Held work that goes first, in order of arrival.
-        long: Held work known as long, in order of arrival.
-        deadlines: Deadlines in order, with those of some work that is removed.
-        standing_since: When the queue was last empty, in seconds; infinite if it is.
+        settings: Placement settings.
+        short_queue: Work not expected to be long, in order of arrival; served first.
+        long_queue: Work expected to be long, in order of arrival.
+        expiry_heap: Heap of expiry times and work ids, some of work already removed.
+        nonempty_since: When the queue became nonempty, in seconds; infinite if empty.
     """
 
     def __init__(self, settings: PlacementSettings) -> None:
@@ -50,15 +52,15 @@
         return len(self.short_queue) + len(self.long_queue)
 
     def queues(self) -> tuple[OrderedDict[bytes, QueuedWork], ...]:
-        """Return the held work by queue, the one that goes first in front."""
+        """Return the queues in the order in which they are served."""
         return self.short_queue, self.long_queue
 
     def get(self, work_id: bytes) -> QueuedWork | None:
-        """Return the held work of that name, if any."""
+        """Return the queued work with this id, if any."""
         return self.short_queue.get(work_id) or self.long_queue.get(work_id)
 
     def enqueue(self, queued: QueuedWork) -> None:
-        """Put work at the end of its queue."""
+        """Append work to its queue."""
         self.nonempty_since = min(self.nonempty_since, queued.queued_at)
         queue = (
             self.long_queue
@@ -69,7 +71,7 @@
         heapq.heappush(self.expiry_heap, (queued.expires_at, queued.work.work_id))
 
     def remove(self, work_id: bytes) -> QueuedWork | None:
-        """Take work out and return it, if it was held."""
+        """Remove work and return it, if it was queued."""
         removed = self.short_queue.pop(work_id, None) or self.long_queue.pop(
             work_id, None
         )
@@ -80,7 +82,7 @@
         return removed
 
     def compact_expiry_heap(self) -> None:
-        """Drop the deadlines of work that is removed."""
+        """Drop the expiry times of removed work."""
         queued_work = [*self.short_queue.values(), *self.long_queue.values()]
         self.expiry_heap = [
             (queued.expires_at, queued.work.work_id) for queued in queued_work
@@ -88,7 +90,7 @@
         heapq.heapify(self.expiry_heap)
 
     def max_hold_s(self, now: float) -> float:
-        """Return for how long work is held at most at a time, in seconds."""
+        """Return the longest time for which work is held now, in seconds."""
         if now >= self.nonempty_since + self.settings.standing_queue_after_ms / 1000.0:
             return (
                 min(self.settings.standing_queue_hold_ms, self.settings.hold_ms)
@@ -97,7 +99,7 @@
         return self.settings.hold_ms / 1000.0
 
     def next_deadline(self) -> float:
-        """Return when held work may next be refused, in seconds."""
+        """Return when queued work may next be refused, in seconds."""
         standing_hold_s = (
             min(self.settings.standing_queue_hold_ms, self.settings.hold_ms) / 1000.0
         )
@@ -113,11 +115,11 @@
         )
 
     def queue_heads(self) -> list[QueuedWork]:
-        """Return the oldest work of each queue."""
+        """Return the oldest work of each nonempty queue."""
         return [next(iter(queue.values())) for queue in self.queues() if queue]
 
     def next_expiry(self) -> float:
-        """Return the first deadline of held work, infinite without any."""
+        """Return the first expiry time of queued work; infinite if there is none."""
         while self.expiry_heap:
             expires_at, work_id = self.expiry_heap[0]
             queued = self.get(work_id)
@@ -127,7 +129,7 @@
         return float("inf")
 
     def remove_expired(self, now: float) -> list[QueuedWork]:
-        """Take out and return the work whose deadline has come."""
+        """Remove and return the work that has expired or was held too long."""
         removed: list[QueuedWork] = []
         while self.next_expiry() <= now:
             queued = self.remove(self.expiry_heap[0][1])
@@ -136,7 +138,7 @@
         return [*removed, *self.remove_held_too_long(now)]
 
     def remove_held_too_long(self, now: float) -> list[QueuedWork]:
-        """Take out and return the work held too long for a standing queue."""
+        """Remove and return the work held for ``max_hold_s`` or longer."""
         removed: list[QueuedWork] = []
         hold_s = self.max_hold_s(now)
         for queued in self.queue_heads():
