--- a/libs/placement/src/kumquatmux_placement/admission.py
+++ b/libs/placement/src/kumquatmux_placement/admission.py
@@ -7,6 +7,8 @@
 
 from kumquatmux_core import decisions
 from kumquatmux_core.identity import ServerId, ServiceName
+from kumquatmux_placement.backend import Flow, ServerLoad
+from kumquatmux_placement.choice import SelectedServer
 from kumquatmux_placement.events import (
     Adopted,
     Answered,
@@ -30,12 +32,10 @@
     Unknown,
     Work,
 )
-from kumquatmux_placement.recent_work import RecentWorkIds
-from kumquatmux_placement.server_load import Flow, ServerLoad
-from kumquatmux_placement.server_pool import ServerPool
-from kumquatmux_placement.server_selection import SelectedServer
+from kumquatmux_placement.memory import RecentWorkIds
+from kumquatmux_placement.pool import ServerPool
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.wait_queue import QueuedWork
+from kumquatmux_placement.waiting import QueuedWork
 
 
 class Admission:
--- a/libs/placement/src/kumquatmux_placement/server_load.py
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -12,8 +12,8 @@
     SizeClass,
     SlotDigest,
 )
-from kumquatmux_placement.recent_peak import RecentPeak
-from kumquatmux_placement.run_time_history import RunTimeHistory
+from kumquatmux_placement.history import RunTimeHistory
+from kumquatmux_placement.peak import RecentPeak
 from kumquatmux_placement.settings import PlacementSettings
 
 RUN_TIME_SAMPLE_WEIGHT = 0.1
--- a/libs/placement/src/kumquatmux_placement/server_selection.py
+++ b/libs/placement/src/kumquatmux_placement/choice.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from kumquatmux_placement.server_load import ServerLoad
+from kumquatmux_placement.backend import ServerLoad
 from kumquatmux_placement.settings import PlacementSettings
 
 
--- a/libs/placement/src/kumquatmux_placement/server_pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -5,18 +5,18 @@
 import random
 
 from kumquatmux_core.identity import ServerId, ServiceName
-from kumquatmux_placement.events import Server, ServerState, SizeClass
-from kumquatmux_placement.recent_peak import RecentPeak
-from kumquatmux_placement.retry_budget import RetryBudget
-from kumquatmux_placement.run_time_history import RunTimeHistory
-from kumquatmux_placement.server_load import ServerLoad
-from kumquatmux_placement.server_selection import (
+from kumquatmux_placement.backend import ServerLoad
+from kumquatmux_placement.choice import (
     SelectedServer,
     is_in_preferred_zone,
     select_server,
 )
+from kumquatmux_placement.events import Server, ServerState, SizeClass
+from kumquatmux_placement.history import RunTimeHistory
+from kumquatmux_placement.peak import RecentPeak
+from kumquatmux_placement.retry_budget import RetryBudget
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.wait_queue import QueuedWork, WaitQueue
+from kumquatmux_placement.waiting import QueuedWork, WaitQueue
 
 
 class ServerPool:
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -20,6 +20,7 @@
 from kumquatmux_core import decisions
 from kumquatmux_core.identity import ServerId, ServiceName, ZoneName
 from kumquatmux_placement.admission import Admission
+from kumquatmux_placement.backend import ServerLoad
 from kumquatmux_placement.events import (
     Adopted,
     Answered,
@@ -42,10 +43,9 @@
     Unknown,
     Work,
 )
-from kumquatmux_placement.recent_work import RecentWorkIds
-from kumquatmux_placement.server_load import ServerLoad
+from kumquatmux_placement.memory import RecentWorkIds
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.wait_queue import WaitQueue
+from kumquatmux_placement.waiting import WaitQueue
 
 SERVICE = ServiceName("entries")
 NAMES = [ServerId(f"127.0.0.{number}:9000") for number in (1, 2, 3)]
