Rename admission to make_admission

A factory function has a verb in its name. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py admission make_admission

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -44,7 +44,7 @@
     return plain._replace(**changes)
 
 
-def admission(*servers, **changes):
+def make_admission(*servers, **changes):
     made = Admission(PlacementSettings(**changes), random.Random(1))
     made.handle(ServersChanged(SERVICE, servers or (server(),)), 0.0)
     return made
@@ -55,7 +55,7 @@
 
 
 def test_held_work_gets_the_freed_slot():
-    made = admission()
+    made = make_admission()
     [placed] = made.handle(Submit(work(b"a")), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     [held] = made.handle(Submit(work(b"b")), 0.1)
@@ -66,7 +66,7 @@
 
 
 def test_held_work_is_refused_at_its_deadline():
-    made = admission(hold_ms=500.0, reserve_ms=10_000.0)
+    made = make_admission(hold_ms=500.0, reserve_ms=10_000.0)
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Submit(work(b"b")), 0.1)
     assert made.next_deadline() == 0.6
@@ -75,7 +75,7 @@
 
 
 def test_other_settings_come_into_force_for_new_work_only():
-    made = admission(hold_ms=10_000.0, reserve_ms=60_000.0)
+    made = make_admission(hold_ms=10_000.0, reserve_ms=60_000.0)
     made.handle(Submit(work(b"a")), 0.0)
     [held] = made.handle(Submit(work(b"b")), 0.0)
     made.use_settings(made.settings._replace(hold_ms=500.0))
@@ -89,7 +89,7 @@
         "standing_queue_hold_ms": 200.0,
         "standing_queue_after_ms": 600.0,
     }
-    made = admission(**settings, reserve_ms=60_000.0)
+    made = make_admission(**settings, reserve_ms=60_000.0)
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Submit(work(b"b")), 0.1)
     made.handle(Submit(work(b"c")), 0.6)
@@ -109,7 +109,7 @@
     [(1, 0.5, False), (2, 0.5, True), (2, 5.0, False), (0, 0.5, False)],
 )
 def test_a_report_only_lowers_trust_beyond_what_was_counted(busy, age, suspected):
-    made = admission(server(1), server(2), report_fresh_ms=2000.0)
+    made = make_admission(server(1), server(2), report_fresh_ms=2000.0)
     [placed] = made.handle(Submit(work(b"a")), 0.0)
     made.handle(Closed(b"a", placed.server), 0.5)
     made.handle(LoadReported(placed.server, busy, 0, age), 1.0)
@@ -118,7 +118,7 @@
 
 
 def test_a_server_slower_than_the_service_is_used_last():
-    made = admission(server(1), server(2), server(3))
+    made = make_admission(server(1), server(2), server(3))
     slow = made.load_by_server[server(1).server]
     for name in made.load_by_server.values():
         name.mean_short_run_s = 0.02
@@ -131,13 +131,13 @@
 
 
 def test_a_cold_server_is_used_last():
-    made = admission(server(1, since=0.0), server(2), warm_ms=10_000.0)
+    made = make_admission(server(1, since=0.0), server(2), warm_ms=10_000.0)
     placed = [made.handle(Submit(work(name)), 1.0)[0].server for name in (b"a", b"b")]
     assert placed == [server(2).server, server(1).server]
 
 
 def test_a_placer_that_stands_down_counts_nothing_of_the_old_work():
-    made = admission(reserve_ms=60_000.0)
+    made = make_admission(reserve_ms=60_000.0)
     [placed] = made.handle(Submit(work(b"a")), 0.0)
     made.handle(Started(b"a", placed.server), 0.1)
     made.stand_down(SERVICE, 0.2)
@@ -150,7 +150,7 @@
     ("age_s", "free_at"), [(0.0, 10.2), (0.15, 10.05), (0.5, 10.0)]
 )
 def test_a_restored_slot_frees_by_the_age_of_the_digest(age_s, free_at):
-    made = admission(assumed_short_run_ms=200.0)
+    made = make_admission(assumed_short_run_ms=200.0)
     digest = (SlotDigest(server().server, busy=1, long=0, connections=1),)
     made.restore(digest, 10.0, age_s=age_s)
     [first] = made.handle(Submit(work(b"a")), 10.0)
@@ -162,14 +162,14 @@
 
 
 def test_a_digest_holds_what_was_placed():
-    made = admission(server(1, slots=2))
+    made = make_admission(server(1, slots=2))
     [placed] = made.handle(Submit(work(b"a", size=SizeClass.LONG)), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     assert made.digest(SERVICE) == (SlotDigest(placed.server, 1, 1, 1),)
 
 
 def test_short_work_is_placed_before_long():
-    made = admission(server(1), server(2))
+    made = make_admission(server(1), server(2))
     placed = [made.handle(Submit(work(name)), 0.0)[0] for name in (b"a", b"b")]
     made.handle(Submit(work(b"c", size=SizeClass.LONG)), 0.1)
     made.handle(Submit(work(b"d")), 0.2)
@@ -179,7 +179,7 @@
 
 
 def test_long_work_leaves_one_servers_slots_clear():
-    made = admission(server(1, slots=2), server(2, slots=2), clear_servers=1)
+    made = make_admission(server(1, slots=2), server(2, slots=2), clear_servers=1)
     for name in (b"x", b"y"):
         [placed] = made.handle(Submit(work(name)), 0.0)
     for name, flow in list(made.flows.items()):
@@ -194,7 +194,7 @@
 
 
 def test_work_of_a_caller_known_for_long_work_is_expected_to_be_long():
-    made = admission(server(1, slots=3), long_ms=200.0)
+    made = make_admission(server(1, slots=3), long_ms=200.0)
     [placed] = made.handle(Submit(work(b"a", caller="printer")), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     made.handle(Answered(b"a", placed.server), 0.9)
@@ -204,7 +204,7 @@
 
 
 def test_feeds_hold_a_connection_and_no_slot():
-    made = admission(server(1, connections=2))
+    made = make_admission(server(1, connections=2))
     for number in range(2):
         work_id = bytes([number])
         [placed] = made.handle(Submit(work(work_id)), float(number))
@@ -218,7 +218,7 @@
 
 
 def test_later_work_on_a_bound_flow_takes_a_slot_beyond_the_servers():
-    made = admission(server(1, slots=1))
+    made = make_admission(server(1, slots=1))
     [placed] = made.handle(Submit(work(b"a")), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     made.handle(Answered(b"a", placed.server), 0.1)
@@ -230,7 +230,7 @@
 
 
 def test_a_server_that_sheds_is_left_alone_for_longer_each_time():
-    made = admission(shed_backoff_ms=100.0, shed_backoff_limit_ms=300.0)
+    made = make_admission(shed_backoff_ms=100.0, shed_backoff_limit_ms=300.0)
     now = 0.0
     for pause_s in (0.1, 0.2, 0.3):
         [placed] = made.handle(Submit(work(bytes([int(now * 10)]))), now)
@@ -241,7 +241,7 @@
 
 
 def test_retries_are_held_within_a_budget():
-    made = admission(retry_burst=2, retry_ratio=0.0)
+    made = make_admission(retry_burst=2, retry_ratio=0.0)
     made.handle(Submit(work(b"a")), 0.0)
     outcomes = [
         made.handle(Submit(work(bytes([number]), attempt=1)), 0.1)[0]
@@ -256,7 +256,7 @@
 
 def test_work_spills_to_another_zone_once_waiting_costs_more_than_the_link():
     far = server(2, zone=ZoneName("lpg-a"))
-    made = admission(server(1), far, **ZONED)
+    made = make_admission(server(1), far, **ZONED)
     assert made.handle(Submit(work(b"a")), 0.0)[0].server == server(1).server
     assert isinstance(made.handle(Submit(work(b"b")), 0.0)[0], Held)
     assert made.next_deadline() == pytest.approx(0.01)
@@ -277,7 +277,7 @@
     early_slot_reuse, age_s, placed
 ):
     far = server(2, zone=ZoneName("lpg-a"))
-    made = admission(far, early_slot_reuse=early_slot_reuse, **ZONED)
+    made = make_admission(far, early_slot_reuse=early_slot_reuse, **ZONED)
     made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Started(b"a", far.server), 0.0)
@@ -292,7 +292,7 @@
     monkeypatch.setattr(
         decisions, "log", lambda event, **fields: lines.append((event, fields))
     )
-    made = admission(revision=7)
+    made = make_admission(revision=7)
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Submit(work(b"b")), 0.0)
     made.handle(Cancel(b"b"), 0.1)
@@ -303,7 +303,7 @@
 
 
 def test_a_service_without_short_work_keeps_no_slot_clear():
-    made = admission(server(1, slots=2), server(2, slots=2))
+    made = make_admission(server(1, slots=2), server(2, slots=2))
     outcomes = [
         made.handle(Submit(work(bytes([number]), size=SizeClass.LONG)), 0.0)[0]
         for number in range(4)
@@ -319,7 +319,7 @@
         "standing_queue_after_ms": 1000.0,
         "hold_ms": 5000.0,
     }
-    made = admission(**settings, reserve_ms=60_000.0)
+    made = make_admission(**settings, reserve_ms=60_000.0)
     made.handle(Submit(work(b"a")), started)
     made.handle(Submit(work(b"b")), started)
     due = made.next_deadline()
