Rename server to make_server

A factory function has a verb in its name. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py server make_server

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -32,7 +32,7 @@
 SERVICE = ServiceName("entries")
 
 
-def server(number=1, **changes):
+def make_server(number=1, **changes):
     plain = Server(
         ServerId(f"127.0.0.{number}:9000"),
         ZoneName("cnx-a"),
@@ -46,7 +46,7 @@
 
 def make_admission(*servers, **changes):
     made = Admission(PlacementSettings(**changes), random.Random(1))
-    made.handle(ServersChanged(SERVICE, servers or (server(),)), 0.0)
+    made.handle(ServersChanged(SERVICE, servers or (make_server(),)), 0.0)
     return made
 
 
@@ -109,7 +109,7 @@
     [(1, 0.5, False), (2, 0.5, True), (2, 5.0, False), (0, 0.5, False)],
 )
 def test_a_report_only_lowers_trust_beyond_what_was_counted(busy, age, suspected):
-    made = make_admission(server(1), server(2), report_fresh_ms=2000.0)
+    made = make_admission(make_server(1), make_server(2), report_fresh_ms=2000.0)
     [placed] = made.handle(Submit(work(b"a")), 0.0)
     made.handle(Closed(b"a", placed.server), 0.5)
     made.handle(LoadReported(placed.server, busy, 0, age), 1.0)
@@ -118,8 +118,8 @@
 
 
 def test_a_server_slower_than_the_service_is_used_last():
-    made = make_admission(server(1), server(2), server(3))
-    slow = made.load_by_server[server(1).server]
+    made = make_admission(make_server(1), make_server(2), make_server(3))
+    slow = made.load_by_server[make_server(1).server]
     for name in made.load_by_server.values():
         name.mean_short_run_s = 0.02
     made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
@@ -131,9 +131,9 @@
 
 
 def test_a_cold_server_is_used_last():
-    made = make_admission(server(1, since=0.0), server(2), warm_ms=10_000.0)
+    made = make_admission(make_server(1, since=0.0), make_server(2), warm_ms=10_000.0)
     placed = [made.handle(Submit(work(name)), 1.0)[0].server for name in (b"a", b"b")]
-    assert placed == [server(2).server, server(1).server]
+    assert placed == [make_server(2).server, make_server(1).server]
 
 
 def test_a_placer_that_stands_down_counts_nothing_of_the_old_work():
@@ -151,7 +151,7 @@
 )
 def test_a_restored_slot_frees_by_the_age_of_the_digest(age_s, free_at):
     made = make_admission(assumed_short_run_ms=200.0)
-    digest = (SlotDigest(server().server, busy=1, long=0, connections=1),)
+    digest = (SlotDigest(make_server().server, busy=1, long=0, connections=1),)
     made.restore(digest, 10.0, age_s=age_s)
     [first] = made.handle(Submit(work(b"a")), 10.0)
     if free_at > 10.0:
@@ -162,14 +162,14 @@
 
 
 def test_a_digest_holds_what_was_placed():
-    made = make_admission(server(1, slots=2))
+    made = make_admission(make_server(1, slots=2))
     [placed] = made.handle(Submit(work(b"a", size=SizeClass.LONG)), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     assert made.digest(SERVICE) == (SlotDigest(placed.server, 1, 1, 1),)
 
 
 def test_short_work_is_placed_before_long():
-    made = make_admission(server(1), server(2))
+    made = make_admission(make_server(1), make_server(2))
     placed = [made.handle(Submit(work(name)), 0.0)[0] for name in (b"a", b"b")]
     made.handle(Submit(work(b"c", size=SizeClass.LONG)), 0.1)
     made.handle(Submit(work(b"d")), 0.2)
@@ -179,7 +179,9 @@
 
 
 def test_long_work_leaves_one_servers_slots_clear():
-    made = make_admission(server(1, slots=2), server(2, slots=2), clear_servers=1)
+    made = make_admission(
+        make_server(1, slots=2), make_server(2, slots=2), clear_servers=1
+    )
     for name in (b"x", b"y"):
         [placed] = made.handle(Submit(work(name)), 0.0)
     for name, flow in list(made.flows.items()):
@@ -194,7 +196,7 @@
 
 
 def test_work_of_a_caller_known_for_long_work_is_expected_to_be_long():
-    made = make_admission(server(1, slots=3), long_ms=200.0)
+    made = make_admission(make_server(1, slots=3), long_ms=200.0)
     [placed] = made.handle(Submit(work(b"a", caller="printer")), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     made.handle(Answered(b"a", placed.server), 0.9)
@@ -204,7 +206,7 @@
 
 
 def test_feeds_hold_a_connection_and_no_slot():
-    made = make_admission(server(1, connections=2))
+    made = make_admission(make_server(1, connections=2))
     for number in range(2):
         work_id = bytes([number])
         [placed] = made.handle(Submit(work(work_id)), float(number))
@@ -218,7 +220,7 @@
 
 
 def test_later_work_on_a_bound_flow_takes_a_slot_beyond_the_servers():
-    made = make_admission(server(1, slots=1))
+    made = make_admission(make_server(1, slots=1))
     [placed] = made.handle(Submit(work(b"a")), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     made.handle(Answered(b"a", placed.server), 0.1)
@@ -255,9 +257,9 @@
 
 
 def test_work_spills_to_another_zone_once_waiting_costs_more_than_the_link():
-    far = server(2, zone=ZoneName("lpg-a"))
-    made = make_admission(server(1), far, **ZONED)
-    assert made.handle(Submit(work(b"a")), 0.0)[0].server == server(1).server
+    far = make_server(2, zone=ZoneName("lpg-a"))
+    made = make_admission(make_server(1), far, **ZONED)
+    assert made.handle(Submit(work(b"a")), 0.0)[0].server == make_server(1).server
     assert isinstance(made.handle(Submit(work(b"b")), 0.0)[0], Held)
     assert made.next_deadline() == pytest.approx(0.01)
     [spilled] = made.handle(Tick(), made.next_deadline())
@@ -276,7 +278,7 @@
 def test_only_a_far_slot_about_to_be_answered_is_given_again(
     early_slot_reuse, age_s, placed
 ):
-    far = server(2, zone=ZoneName("lpg-a"))
+    far = make_server(2, zone=ZoneName("lpg-a"))
     made = make_admission(far, early_slot_reuse=early_slot_reuse, **ZONED)
     made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     made.handle(Submit(work(b"a")), 0.0)
@@ -298,12 +300,12 @@
     made.handle(Cancel(b"b"), 0.1)
     assert [event for event, _ in lines] == ["placed", "held", "cancelled"]
     fields = lines[0][1]
-    assert (fields["server"], fields["reason"]) == (server().server, "free-slot")
+    assert (fields["server"], fields["reason"]) == (make_server().server, "free-slot")
     assert (fields["candidates"], fields["revision"]) == (1, 7)
 
 
 def test_a_service_without_short_work_keeps_no_slot_clear():
-    made = make_admission(server(1, slots=2), server(2, slots=2))
+    made = make_admission(make_server(1, slots=2), make_server(2, slots=2))
     outcomes = [
         made.handle(Submit(work(bytes([number]), size=SizeClass.LONG)), 0.0)[0]
         for number in range(4)
