Rename made to admission

The variable holds the admission under test. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py made admission

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -45,9 +45,9 @@
 
 
 def make_admission(*servers, **changes):
-    made = Admission(PlacementSettings(**changes), random.Random(1))
-    made.handle(ServersChanged(SERVICE, servers or (make_server(),)), 0.0)
-    return made
+    admission = Admission(PlacementSettings(**changes), random.Random(1))
+    admission.handle(ServersChanged(SERVICE, servers or (make_server(),)), 0.0)
+    return admission
 
 
 def make_work(name=b"a", **changes):
@@ -55,31 +55,31 @@
 
 
 def test_held_work_gets_the_freed_slot():
-    made = make_admission()
-    [placed] = made.handle(Submit(make_work(b"a")), 0.0)
-    made.handle(Started(b"a", placed.server), 0.0)
-    [held] = made.handle(Submit(make_work(b"b")), 0.1)
+    admission = make_admission()
+    [placed] = admission.handle(Submit(make_work(b"a")), 0.0)
+    admission.handle(Started(b"a", placed.server), 0.0)
+    [held] = admission.handle(Submit(make_work(b"b")), 0.1)
     assert isinstance(held, Held)
-    [later] = made.handle(Answered(b"a", placed.server), 0.3)
+    [later] = admission.handle(Answered(b"a", placed.server), 0.3)
     assert isinstance(later, Placed)
     assert later.work_id == b"b"
 
 
 def test_held_work_is_refused_at_its_deadline():
-    made = make_admission(hold_ms=500.0, reserve_ms=10_000.0)
-    made.handle(Submit(make_work(b"a")), 0.0)
-    made.handle(Submit(make_work(b"b")), 0.1)
-    assert made.next_deadline() == 0.6
-    [refused] = made.handle(Tick(), 0.6)
+    admission = make_admission(hold_ms=500.0, reserve_ms=10_000.0)
+    admission.handle(Submit(make_work(b"a")), 0.0)
+    admission.handle(Submit(make_work(b"b")), 0.1)
+    assert admission.next_deadline() == 0.6
+    [refused] = admission.handle(Tick(), 0.6)
     assert isinstance(refused, Refused)
 
 
 def test_other_settings_come_into_force_for_new_work_only():
-    made = make_admission(hold_ms=10_000.0, reserve_ms=60_000.0)
-    made.handle(Submit(make_work(b"a")), 0.0)
-    [held] = made.handle(Submit(make_work(b"b")), 0.0)
-    made.use_settings(made.settings._replace(hold_ms=500.0))
-    [later] = made.handle(Submit(make_work(b"c")), 0.0)
+    admission = make_admission(hold_ms=10_000.0, reserve_ms=60_000.0)
+    admission.handle(Submit(make_work(b"a")), 0.0)
+    [held] = admission.handle(Submit(make_work(b"b")), 0.0)
+    admission.use_settings(admission.settings._replace(hold_ms=500.0))
+    [later] = admission.handle(Submit(make_work(b"c")), 0.0)
     assert (held.until, later.until) == (10.0, 0.5)
 
 
@@ -89,19 +89,19 @@
         "standing_queue_hold_ms": 200.0,
         "standing_queue_after_ms": 600.0,
     }
-    made = make_admission(**settings, reserve_ms=60_000.0)
-    made.handle(Submit(make_work(b"a")), 0.0)
-    made.handle(Submit(make_work(b"b")), 0.1)
-    made.handle(Submit(make_work(b"c")), 0.6)
-    assert made.handle(Tick(), 0.69) == []
-    assert made.next_deadline() == pytest.approx(0.7)
-    [refused] = made.handle(Tick(), 0.7)
+    admission = make_admission(**settings, reserve_ms=60_000.0)
+    admission.handle(Submit(make_work(b"a")), 0.0)
+    admission.handle(Submit(make_work(b"b")), 0.1)
+    admission.handle(Submit(make_work(b"c")), 0.6)
+    assert admission.handle(Tick(), 0.69) == []
+    assert admission.next_deadline() == pytest.approx(0.7)
+    [refused] = admission.handle(Tick(), 0.7)
     assert (refused.work_id, refused.reason) == (b"b", "held-too-long")
-    assert made.next_deadline() == pytest.approx(0.8)
-    [refused] = made.handle(Tick(), 0.81)
+    assert admission.next_deadline() == pytest.approx(0.8)
+    [refused] = admission.handle(Tick(), 0.81)
     assert refused.work_id == b"c"
-    [held] = made.handle(Submit(make_work(b"d")), 0.9)
-    assert made.handle(Tick(), 1.2) == []
+    [held] = admission.handle(Submit(make_work(b"d")), 0.9)
+    assert admission.handle(Tick(), 1.2) == []
 
 
 @pytest.mark.parametrize(
@@ -109,147 +109,156 @@
     [(1, 0.5, False), (2, 0.5, True), (2, 5.0, False), (0, 0.5, False)],
 )
 def test_a_report_only_lowers_trust_beyond_what_was_counted(busy, age, suspected):
-    made = make_admission(make_server(1), make_server(2), report_fresh_ms=2000.0)
-    [placed] = made.handle(Submit(make_work(b"a")), 0.0)
-    made.handle(Closed(b"a", placed.server), 0.5)
-    made.handle(LoadReported(placed.server, busy, 0, age), 1.0)
-    assert (made.load_by_server[placed.server].reported_busier_until > 1.0) is suspected
-    assert made.load_by_server[placed.server].slots_in_use == 0
+    admission = make_admission(make_server(1), make_server(2), report_fresh_ms=2000.0)
+    [placed] = admission.handle(Submit(make_work(b"a")), 0.0)
+    admission.handle(Closed(b"a", placed.server), 0.5)
+    admission.handle(LoadReported(placed.server, busy, 0, age), 1.0)
+    assert (
+        admission.load_by_server[placed.server].reported_busier_until > 1.0
+    ) is suspected
+    assert admission.load_by_server[placed.server].slots_in_use == 0
 
 
 def test_a_server_slower_than_the_service_is_used_last():
-    made = make_admission(make_server(1), make_server(2), make_server(3))
-    slow = made.load_by_server[make_server(1).server]
-    for name in made.load_by_server.values():
+    admission = make_admission(make_server(1), make_server(2), make_server(3))
+    slow = admission.load_by_server[make_server(1).server]
+    for name in admission.load_by_server.values():
         name.mean_short_run_s = 0.02
-    made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
+    admission.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     slow.mean_short_run_s = 0.04
     servers = [
-        made.handle(Submit(make_work(bytes([number]))), 0.0)[0].server
+        admission.handle(Submit(make_work(bytes([number]))), 0.0)[0].server
         for number in range(3)
     ]
     assert servers[-1] == slow.server.server
 
 
 def test_a_cold_server_is_used_last():
-    made = make_admission(make_server(1, since=0.0), make_server(2), warm_ms=10_000.0)
+    admission = make_admission(
+        make_server(1, since=0.0), make_server(2), warm_ms=10_000.0
+    )
     placed = [
-        made.handle(Submit(make_work(name)), 1.0)[0].server for name in (b"a", b"b")
+        admission.handle(Submit(make_work(name)), 1.0)[0].server
+        for name in (b"a", b"b")
     ]
     assert placed == [make_server(2).server, make_server(1).server]
 
 
 def test_a_placer_that_stands_down_counts_nothing_of_the_old_work():
-    made = make_admission(reserve_ms=60_000.0)
-    [placed] = made.handle(Submit(make_work(b"a")), 0.0)
-    made.handle(Started(b"a", placed.server), 0.1)
-    made.stand_down(SERVICE, 0.2)
-    [again] = made.handle(Submit(make_work(b"b")), 0.3)
+    admission = make_admission(reserve_ms=60_000.0)
+    [placed] = admission.handle(Submit(make_work(b"a")), 0.0)
+    admission.handle(Started(b"a", placed.server), 0.1)
+    admission.stand_down(SERVICE, 0.2)
+    [again] = admission.handle(Submit(make_work(b"b")), 0.3)
     assert isinstance(again, Placed)
-    assert made.digest(SERVICE)[0].connections == 1
+    assert admission.digest(SERVICE)[0].connections == 1
 
 
 @pytest.mark.parametrize(
     ("age_s", "free_at"), [(0.0, 10.2), (0.15, 10.05), (0.5, 10.0)]
 )
 def test_a_restored_slot_frees_by_the_age_of_the_digest(age_s, free_at):
-    made = make_admission(assumed_short_run_ms=200.0)
+    admission = make_admission(assumed_short_run_ms=200.0)
     digest = (SlotDigest(make_server().server, busy=1, long=0, connections=1),)
-    made.restore(digest, 10.0, age_s=age_s)
-    [first] = made.handle(Submit(make_work(b"a")), 10.0)
+    admission.restore(digest, 10.0, age_s=age_s)
+    [first] = admission.handle(Submit(make_work(b"a")), 10.0)
     if free_at > 10.0:
         assert isinstance(first, Held)
-        assert made.next_deadline() == pytest.approx(free_at)
-        [first] = made.handle(Tick(), made.next_deadline())
+        assert admission.next_deadline() == pytest.approx(free_at)
+        [first] = admission.handle(Tick(), admission.next_deadline())
     assert isinstance(first, Placed)
 
 
 def test_a_digest_holds_what_was_placed():
-    made = make_admission(make_server(1, slots=2))
-    [placed] = made.handle(Submit(make_work(b"a", size=SizeClass.LONG)), 0.0)
-    made.handle(Started(b"a", placed.server), 0.0)
-    assert made.digest(SERVICE) == (SlotDigest(placed.server, 1, 1, 1),)
+    admission = make_admission(make_server(1, slots=2))
+    [placed] = admission.handle(Submit(make_work(b"a", size=SizeClass.LONG)), 0.0)
+    admission.handle(Started(b"a", placed.server), 0.0)
+    assert admission.digest(SERVICE) == (SlotDigest(placed.server, 1, 1, 1),)
 
 
 def test_short_work_is_placed_before_long():
-    made = make_admission(make_server(1), make_server(2))
-    placed = [made.handle(Submit(make_work(name)), 0.0)[0] for name in (b"a", b"b")]
-    made.handle(Submit(make_work(b"c", size=SizeClass.LONG)), 0.1)
-    made.handle(Submit(make_work(b"d")), 0.2)
-    [first] = made.handle(Closed(b"a", placed[0].server), 0.3)
-    [second] = made.handle(Closed(b"b", placed[1].server), 0.4)
+    admission = make_admission(make_server(1), make_server(2))
+    placed = [
+        admission.handle(Submit(make_work(name)), 0.0)[0] for name in (b"a", b"b")
+    ]
+    admission.handle(Submit(make_work(b"c", size=SizeClass.LONG)), 0.1)
+    admission.handle(Submit(make_work(b"d")), 0.2)
+    [first] = admission.handle(Closed(b"a", placed[0].server), 0.3)
+    [second] = admission.handle(Closed(b"b", placed[1].server), 0.4)
     assert [first.work_id, second.work_id] == [b"d", b"c"]
 
 
 def test_long_work_leaves_one_servers_slots_clear():
-    made = make_admission(
+    admission = make_admission(
         make_server(1, slots=2), make_server(2, slots=2), clear_servers=1
     )
     for name in (b"x", b"y"):
-        [placed] = made.handle(Submit(make_work(name)), 0.0)
-    for name, flow in list(made.flows.items()):
-        made.handle(Closed(name, flow.server_load.server.server), 0.0)
+        [placed] = admission.handle(Submit(make_work(name)), 0.0)
+    for name, flow in list(admission.flows.items()):
+        admission.handle(Closed(name, flow.server_load.server.server), 0.0)
     outcomes = [
-        made.handle(Submit(make_work(bytes([number]), size=SizeClass.LONG)), 0.0)[0]
+        admission.handle(Submit(make_work(bytes([number]), size=SizeClass.LONG)), 0.0)[
+            0
+        ]
         for number in range(3)
     ]
     assert [type(outcome) for outcome in outcomes] == [Placed, Placed, Held]
-    [short] = made.handle(Submit(make_work(b"s")), 0.0)
+    [short] = admission.handle(Submit(make_work(b"s")), 0.0)
     assert isinstance(short, Placed)
 
 
 def test_work_of_a_caller_known_for_long_work_is_expected_to_be_long():
-    made = make_admission(make_server(1, slots=3), long_ms=200.0)
-    [placed] = made.handle(Submit(make_work(b"a", caller="printer")), 0.0)
-    made.handle(Started(b"a", placed.server), 0.0)
-    made.handle(Answered(b"a", placed.server), 0.9)
-    history = made.pools[SERVICE].run_time_history
+    admission = make_admission(make_server(1, slots=3), long_ms=200.0)
+    [placed] = admission.handle(Submit(make_work(b"a", caller="printer")), 0.0)
+    admission.handle(Started(b"a", placed.server), 0.0)
+    admission.handle(Answered(b"a", placed.server), 0.9)
+    history = admission.pools[SERVICE].run_time_history
     assert history.expected_class(make_work(b"b", caller="printer")) is SizeClass.LONG
     assert history.expected_class(make_work(b"c", caller="other")) is SizeClass.UNKNOWN
 
 
 def test_feeds_hold_a_connection_and_no_slot():
-    made = make_admission(make_server(1, connections=2))
+    admission = make_admission(make_server(1, connections=2))
     for number in range(2):
         work_id = bytes([number])
-        [placed] = made.handle(Submit(make_work(work_id)), float(number))
-        made.handle(Started(work_id, placed.server), float(number))
-        made.handle(Answered(work_id, placed.server), number + 0.01)
-    [refused] = made.handle(Submit(make_work(b"c")), 3.0)
-    assert (refused.reason, made.load_by_server[placed.server].slots_in_use) == (
+        [placed] = admission.handle(Submit(make_work(work_id)), float(number))
+        admission.handle(Started(work_id, placed.server), float(number))
+        admission.handle(Answered(work_id, placed.server), number + 0.01)
+    [refused] = admission.handle(Submit(make_work(b"c")), 3.0)
+    assert (refused.reason, admission.load_by_server[placed.server].slots_in_use) == (
         "no-server",
         0,
     )
 
 
 def test_later_work_on_a_bound_flow_takes_a_slot_beyond_the_servers():
-    made = make_admission(make_server(1, slots=1))
-    [placed] = made.handle(Submit(make_work(b"a")), 0.0)
-    made.handle(Started(b"a", placed.server), 0.0)
-    made.handle(Answered(b"a", placed.server), 0.1)
-    made.handle(Submit(make_work(b"b")), 0.2)
-    made.handle(Started(b"a", placed.server), 0.3)
-    assert made.load_by_server[placed.server].slots_in_use == 2
-    assert isinstance(made.handle(Submit(make_work(b"c")), 0.4)[0], Held)
-    assert made.handle(Answered(b"a", placed.server), 0.5) == []
+    admission = make_admission(make_server(1, slots=1))
+    [placed] = admission.handle(Submit(make_work(b"a")), 0.0)
+    admission.handle(Started(b"a", placed.server), 0.0)
+    admission.handle(Answered(b"a", placed.server), 0.1)
+    admission.handle(Submit(make_work(b"b")), 0.2)
+    admission.handle(Started(b"a", placed.server), 0.3)
+    assert admission.load_by_server[placed.server].slots_in_use == 2
+    assert isinstance(admission.handle(Submit(make_work(b"c")), 0.4)[0], Held)
+    assert admission.handle(Answered(b"a", placed.server), 0.5) == []
 
 
 def test_a_server_that_sheds_is_left_alone_for_longer_each_time():
-    made = make_admission(shed_backoff_ms=100.0, shed_backoff_limit_ms=300.0)
+    admission = make_admission(shed_backoff_ms=100.0, shed_backoff_limit_ms=300.0)
     now = 0.0
     for pause_s in (0.1, 0.2, 0.3):
-        [placed] = made.handle(Submit(make_work(bytes([int(now * 10)]))), now)
-        [unknown] = made.handle(Shed(placed.work_id, placed.server), now)
+        [placed] = admission.handle(Submit(make_work(bytes([int(now * 10)]))), now)
+        [unknown] = admission.handle(Shed(placed.work_id, placed.server), now)
         assert isinstance(unknown, Unknown)
-        assert isinstance(made.handle(Submit(make_work(b"x")), now)[0], Refused)
+        assert isinstance(admission.handle(Submit(make_work(b"x")), now)[0], Refused)
         now += pause_s + 1e-6
 
 
 def test_retries_are_held_within_a_budget():
-    made = make_admission(retry_burst=2, retry_ratio=0.0)
-    made.handle(Submit(make_work(b"a")), 0.0)
+    admission = make_admission(retry_burst=2, retry_ratio=0.0)
+    admission.handle(Submit(make_work(b"a")), 0.0)
     outcomes = [
-        made.handle(Submit(make_work(bytes([number]), attempt=1)), 0.1)[0]
+        admission.handle(Submit(make_work(bytes([number]), attempt=1)), 0.1)[0]
         for number in range(3)
     ]
     assert [type(outcome) for outcome in outcomes] == [Held, Held, Refused]
@@ -261,11 +270,14 @@
 
 def test_work_spills_to_another_zone_once_waiting_costs_more_than_the_link():
     far = make_server(2, zone=ZoneName("lpg-a"))
-    made = make_admission(make_server(1), far, **ZONED)
-    assert made.handle(Submit(make_work(b"a")), 0.0)[0].server == make_server(1).server
-    assert isinstance(made.handle(Submit(make_work(b"b")), 0.0)[0], Held)
-    assert made.next_deadline() == pytest.approx(0.01)
-    [spilled] = made.handle(Tick(), made.next_deadline())
+    admission = make_admission(make_server(1), far, **ZONED)
+    assert (
+        admission.handle(Submit(make_work(b"a")), 0.0)[0].server
+        == make_server(1).server
+    )
+    assert isinstance(admission.handle(Submit(make_work(b"b")), 0.0)[0], Held)
+    assert admission.next_deadline() == pytest.approx(0.01)
+    [spilled] = admission.handle(Tick(), admission.next_deadline())
     assert (spilled.server, spilled.reason) == (far.server, "spill")
 
 
@@ -282,13 +294,13 @@
     early_slot_reuse, age_s, placed
 ):
     far = make_server(2, zone=ZoneName("lpg-a"))
-    made = make_admission(far, early_slot_reuse=early_slot_reuse, **ZONED)
-    made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
-    made.handle(Submit(make_work(b"a")), 0.0)
-    made.handle(Started(b"a", far.server), 0.0)
-    [outcome] = made.handle(Submit(make_work(b"b")), age_s)
+    admission = make_admission(far, early_slot_reuse=early_slot_reuse, **ZONED)
+    admission.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
+    admission.handle(Submit(make_work(b"a")), 0.0)
+    admission.handle(Started(b"a", far.server), 0.0)
+    [outcome] = admission.handle(Submit(make_work(b"b")), age_s)
     assert isinstance(outcome, Placed) is placed
-    [third] = made.handle(Submit(make_work(b"c")), age_s)
+    [third] = admission.handle(Submit(make_work(b"c")), age_s)
     assert isinstance(third, Held)
 
 
@@ -297,10 +309,10 @@
     monkeypatch.setattr(
         decisions, "log", lambda event, **fields: lines.append((event, fields))
     )
-    made = make_admission(revision=7)
-    made.handle(Submit(make_work(b"a")), 0.0)
-    made.handle(Submit(make_work(b"b")), 0.0)
-    made.handle(Cancel(b"b"), 0.1)
+    admission = make_admission(revision=7)
+    admission.handle(Submit(make_work(b"a")), 0.0)
+    admission.handle(Submit(make_work(b"b")), 0.0)
+    admission.handle(Cancel(b"b"), 0.1)
     assert [event for event, _ in lines] == ["placed", "held", "cancelled"]
     fields = lines[0][1]
     assert (fields["server"], fields["reason"]) == (make_server().server, "free-slot")
@@ -308,9 +320,11 @@
 
 
 def test_a_service_without_short_work_keeps_no_slot_clear():
-    made = make_admission(make_server(1, slots=2), make_server(2, slots=2))
+    admission = make_admission(make_server(1, slots=2), make_server(2, slots=2))
     outcomes = [
-        made.handle(Submit(make_work(bytes([number]), size=SizeClass.LONG)), 0.0)[0]
+        admission.handle(Submit(make_work(bytes([number]), size=SizeClass.LONG)), 0.0)[
+            0
+        ]
         for number in range(4)
     ]
     assert all(isinstance(outcome, Placed) for outcome in outcomes)
@@ -324,10 +338,10 @@
         "standing_queue_after_ms": 1000.0,
         "hold_ms": 5000.0,
     }
-    made = make_admission(**settings, reserve_ms=60_000.0)
-    made.handle(Submit(make_work(b"a")), started)
-    made.handle(Submit(make_work(b"b")), started)
-    due = made.next_deadline()
-    [refused] = made.handle(Tick(), due)
+    admission = make_admission(**settings, reserve_ms=60_000.0)
+    admission.handle(Submit(make_work(b"a")), started)
+    admission.handle(Submit(make_work(b"b")), started)
+    due = admission.next_deadline()
+    [refused] = admission.handle(Tick(), due)
     assert isinstance(refused, Refused)
-    assert made.next_deadline() > due
+    assert admission.next_deadline() > due
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -70,7 +70,7 @@
     @initialize()
     def begin(self):
         self.now = 0.0
-        self.made = Admission(SETTINGS, random.Random(1))
+        self.admission = Admission(SETTINGS, random.Random(1))
         self.servers = {}
         self.pending = {}
         self.open = {}
@@ -81,7 +81,7 @@
         self.change([(ServerState.READY, 2), (ServerState.READY, 1)])
 
     def tell(self, event, submitted=b""):
-        for outcome in self.made.handle(event, self.now):
+        for outcome in self.admission.handle(event, self.now):
             self.check(outcome, submitted)
 
     def check(self, outcome, submitted):
@@ -168,7 +168,7 @@
     @rule(name=st.sampled_from(NAMES), number=st.integers(60_000, 60_003))
     def adopt(self, name, number):
         work_id = number.to_bytes(2)
-        if work_id not in self.open and name in self.made.load_by_server:
+        if work_id not in self.open and name in self.admission.load_by_server:
             self.repeatable[work_id] = False
             self.open[work_id] = name
             self.tell(Adopted(work_id, SERVICE, name))
@@ -194,10 +194,12 @@
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.7, 3.0]))
     def wait(self, seconds):
         until = self.now + seconds
-        while self.made.next_deadline() <= until:
-            self.now = max(self.made.next_deadline(), self.now)
+        while self.admission.next_deadline() <= until:
+            self.now = max(self.admission.next_deadline(), self.now)
             self.tell(Tick())
-            assert self.made.next_deadline() > self.now, "a tick that changes nothing"
+            assert self.admission.next_deadline() > self.now, (
+                "a tick that changes nothing"
+            )
         self.now = until
 
     @invariant()
@@ -207,18 +209,22 @@
 
     @invariant()
     def memory_is_bounded(self):
-        pool = self.made.pool_for(SERVICE)
-        assert set(self.made.flows) == set(self.open)
+        pool = self.admission.pool_for(SERVICE)
+        assert set(self.admission.flows) == set(self.open)
         assert len(pool.line) == len(self.pending) <= SETTINGS.queue_limit
         assert len(pool.line.expiry_heap) <= 2 * len(pool.line) + 17
         assert (
             len(pool.run_time_history.long_share_by_caller)
             <= SETTINGS.history_caller_limit
         )
-        assert len(self.made.unknown_outcomes.ended_at) <= SETTINGS.ended_work_limit
-        assert len(self.made.recently_refused.ended_at) <= SETTINGS.ended_work_limit
+        assert (
+            len(self.admission.unknown_outcomes.ended_at) <= SETTINGS.ended_work_limit
+        )
+        assert (
+            len(self.admission.recently_refused.ended_at) <= SETTINGS.ended_work_limit
+        )
         connections = sum(
-            load.open_connections for load in self.made.load_by_server.values()
+            load.open_connections for load in self.admission.load_by_server.values()
         )
         assert connections <= len(self.open)
 
@@ -247,7 +253,7 @@
 
 
 def _forgets_submitted(monkeypatch):
-    monkeypatch.setattr(Admission, "repeat_outcome", lambda made, work, pool: None)
+    monkeypatch.setattr(Admission, "repeat_outcome", lambda admission, work, pool: None)
 
 
 def _forgets_lost(monkeypatch):
