Rename size to run_time_class

The class is of run times; size suggests bytes. The name is local; behaviour is unchanged.

Rename: libs/placement/src/kumquatmux_placement/pool.py size run_time_class

--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -79,10 +79,10 @@
             load.release_expired_slots(now)
 
     def choose_server(
-        self, size: SizeClass, since: float, now: float
+        self, run_time_class: SizeClass, since: float, now: float
     ) -> SelectedServer | None:
         """Return a server for work queued at ``queued_at``, if it can be placed now."""
-        if size is SizeClass.LONG and not self.has_slots_for_long_work(now):
+        if run_time_class is SizeClass.LONG and not self.has_slots_for_long_work(now):
             return None
         return select_server(
             self.server_loads.values(),
