Rename since to queued_at

Says which event the time is of. The name is local; behaviour is unchanged.

Rename: libs/placement/src/kumquatmux_placement/pool.py since queued_at

--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -79,7 +79,7 @@
             load.release_expired_slots(now)
 
     def choose_server(
-        self, run_time_class: SizeClass, since: float, now: float
+        self, run_time_class: SizeClass, queued_at: float, now: float
     ) -> SelectedServer | None:
         """Return a server for work queued at ``queued_at``, if it can be placed now."""
         if run_time_class is SizeClass.LONG and not self.has_slots_for_long_work(now):
@@ -89,7 +89,7 @@
             self.settings,
             self.random,
             now,
-            allow_other_zones=self.may_spill_to_other_zone(since, now),
+            allow_other_zones=self.may_spill_to_other_zone(queued_at, now),
         )
 
     def record_short_work(self, now: float) -> None:
