--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -180,7 +180,7 @@
         if not self.settings.zone:
             return []
         link_s = self.settings.link_cost_ms / 1000.0
-        queue_heads = [next(iter(line.values()), None) for line in self.line.queues()]
+        queue_heads = [next(iter(queue.values()), None) for queue in self.line.queues()]
         times = [
             waiting.queued_at + link_s for waiting in queue_heads if waiting is not None
         ]
