Rename waiting to head

The entry is the head of its queue. The name is local; behaviour is unchanged.

Rename: libs/placement/src/kumquatmux_placement/pool.py waiting head

--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -181,7 +181,5 @@
             return []
         link_s = self.settings.link_cost_ms / 1000.0
         queue_heads = [next(iter(queue.values()), None) for queue in self.line.queues()]
-        times = [
-            waiting.queued_at + link_s for waiting in queue_heads if waiting is not None
-        ]
+        times = [head.queued_at + link_s for head in queue_heads if head is not None]
         return [time for time in times if time > now]
