Rename plain to default_server

The variable is the server with default values. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py plain default_server

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -33,7 +33,7 @@
 
 
 def make_server(number=1, **changes):
-    plain = Server(
+    default_server = Server(
         ServerId(f"127.0.0.{number}:9000"),
         ZoneName("cnx-a"),
         slots=1,
@@ -41,7 +41,7 @@
         state=ServerState.READY,
         since=-1000.0,
     )
-    return plain._replace(**changes)
+    return default_server._replace(**changes)
 
 
 def make_admission(*servers, **changes):
