Rename changes to overrides

The arguments override default values. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py changes overrides

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -32,7 +32,7 @@
 SERVICE = ServiceName("entries")
 
 
-def make_server(number=1, **changes):
+def make_server(number=1, **overrides):
     default_server = Server(
         ServerId(f"127.0.0.{number}:9000"),
         ZoneName("cnx-a"),
@@ -41,17 +41,17 @@
         state=ServerState.READY,
         since=-1000.0,
     )
-    return default_server._replace(**changes)
+    return default_server._replace(**overrides)
 
 
-def make_admission(*servers, **changes):
-    admission = Admission(PlacementSettings(**changes), random.Random(1))
+def make_admission(*servers, **overrides):
+    admission = Admission(PlacementSettings(**overrides), random.Random(1))
     admission.handle(ServersChanged(SERVICE, servers or (make_server(),)), 0.0)
     return admission
 
 
-def make_work(name=b"a", **changes):
-    return Work(name, SERVICE, "", arrival=0.0)._replace(**changes)
+def make_work(name=b"a", **overrides):
+    return Work(name, SERVICE, "", arrival=0.0)._replace(**overrides)
 
 
 def test_held_work_gets_the_freed_slot():
