--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -50,8 +50,8 @@
     return admission
 
 
-def make_work(name=b"a", **overrides):
-    return Work(name, SERVICE, "", arrival=0.0)._replace(**overrides)
+def make_work(work_id=b"a", **overrides):
+    return Work(work_id, SERVICE, "", arrival=0.0)._replace(**overrides)
 
 
 def test_held_work_gets_the_freed_slot():
