--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -265,12 +265,12 @@
     assert outcomes[-1].reason == "retry-budget"
 
 
-ZONED = {"zone": ZoneName("cnx-a"), "link_cost_ms": 10.0}
+ZONE_SETTINGS = {"zone": ZoneName("cnx-a"), "link_cost_ms": 10.0}
 
 
 def test_work_spills_to_another_zone_once_waiting_costs_more_than_the_link():
     far = make_server(2, zone=ZoneName("lpg-a"))
-    admission = make_admission(make_server(1), far, **ZONED)
+    admission = make_admission(make_server(1), far, **ZONE_SETTINGS)
     assert (
         admission.handle(Submit(make_work(b"a")), 0.0)[0].server
         == make_server(1).server
@@ -294,7 +294,7 @@
     early_slot_reuse, age_s, placed
 ):
     far = make_server(2, zone=ZoneName("lpg-a"))
-    admission = make_admission(far, early_slot_reuse=early_slot_reuse, **ZONED)
+    admission = make_admission(far, early_slot_reuse=early_slot_reuse, **ZONE_SETTINGS)
     admission.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     admission.handle(Submit(make_work(b"a")), 0.0)
     admission.handle(Started(b"a", far.server), 0.0)
