--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -269,8 +269,8 @@
 
 
 def test_work_spills_to_another_zone_once_waiting_costs_more_than_the_link():
-    far = make_server(2, zone=ZoneName("lpg-a"))
-    admission = make_admission(make_server(1), far, **ZONE_SETTINGS)
+    remote_server = make_server(2, zone=ZoneName("lpg-a"))
+    admission = make_admission(make_server(1), remote_server, **ZONE_SETTINGS)
     assert (
         admission.handle(Submit(make_work(b"a")), 0.0)[0].server
         == make_server(1).server
@@ -278,7 +278,7 @@
     assert isinstance(admission.handle(Submit(make_work(b"b")), 0.0)[0], Held)
     assert admission.next_deadline() == pytest.approx(0.01)
     [spilled] = admission.handle(Tick(), admission.next_deadline())
-    assert (spilled.server, spilled.reason) == (far.server, "spill")
+    assert (spilled.server, spilled.reason) == (remote_server.server, "spill")
 
 
 @pytest.mark.parametrize(
@@ -293,11 +293,13 @@
 def test_only_a_far_slot_about_to_be_answered_is_given_again(
     early_slot_reuse, age_s, placed
 ):
-    far = make_server(2, zone=ZoneName("lpg-a"))
-    admission = make_admission(far, early_slot_reuse=early_slot_reuse, **ZONE_SETTINGS)
+    remote_server = make_server(2, zone=ZoneName("lpg-a"))
+    admission = make_admission(
+        remote_server, early_slot_reuse=early_slot_reuse, **ZONE_SETTINGS
+    )
     admission.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     admission.handle(Submit(make_work(b"a")), 0.0)
-    admission.handle(Started(b"a", far.server), 0.0)
+    admission.handle(Started(b"a", remote_server.server), 0.0)
     [outcome] = admission.handle(Submit(make_work(b"b")), age_s)
     assert isinstance(outcome, Placed) is placed
     [third] = admission.handle(Submit(make_work(b"c")), age_s)
