--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -343,7 +343,7 @@
     admission = make_admission(**settings, reserve_ms=60_000.0)
     admission.handle(Submit(make_work(b"a")), started)
     admission.handle(Submit(make_work(b"b")), started)
-    due = admission.next_deadline()
-    [refused] = admission.handle(Tick(), due)
+    deadline = admission.next_deadline()
+    [refused] = admission.handle(Tick(), deadline)
     assert isinstance(refused, Refused)
-    assert admission.next_deadline() > due
+    assert admission.next_deadline() > deadline
