--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -334,15 +334,15 @@
 
 @pytest.mark.parametrize("number", range(200))
 def test_a_tick_at_the_next_deadline_never_leaves_it_due(number):
-    started = random.Random(number).uniform(0.0, 1000.0)
+    start_s = random.Random(number).uniform(0.0, 1000.0)
     settings = {
         "standing_queue_hold_ms": 100.0,
         "standing_queue_after_ms": 1000.0,
         "hold_ms": 5000.0,
     }
     admission = make_admission(**settings, reserve_ms=60_000.0)
-    admission.handle(Submit(make_work(b"a")), started)
-    admission.handle(Submit(make_work(b"b")), started)
+    admission.handle(Submit(make_work(b"a")), start_s)
+    admission.handle(Submit(make_work(b"b")), start_s)
     deadline = admission.next_deadline()
     [refused] = admission.handle(Tick(), deadline)
     assert isinstance(refused, Refused)
