Rename suspected to marked_busier

The parameter says whether the server is marked as busier than counted. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py suspected marked_busier

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -105,17 +105,17 @@
 
 
 @pytest.mark.parametrize(
-    ("busy", "age", "suspected"),
+    ("busy", "age", "marked_busier"),
     [(1, 0.5, False), (2, 0.5, True), (2, 5.0, False), (0, 0.5, False)],
 )
-def test_a_report_only_lowers_trust_beyond_what_was_counted(busy, age, suspected):
+def test_a_report_only_lowers_trust_beyond_what_was_counted(busy, age, marked_busier):
     admission = make_admission(make_server(1), make_server(2), report_fresh_ms=2000.0)
     [placed] = admission.handle(Submit(make_work(b"a")), 0.0)
     admission.handle(Closed(b"a", placed.server), 0.5)
     admission.handle(LoadReported(placed.server, busy, 0, age), 1.0)
     assert (
         admission.load_by_server[placed.server].reported_busier_until > 1.0
-    ) is suspected
+    ) is marked_busier
     assert admission.load_by_server[placed.server].slots_in_use == 0
 
 
