Rename test_other_settings_come_into_force_for_new_work_only to test_new_hold_time_applies_to_new_work_only

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_other_settings_come_into_force_for_new_work_only test_new_hold_time_applies_to_new_work_only

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -74,7 +74,7 @@
     assert isinstance(refused, Refused)
 
 
-def test_other_settings_come_into_force_for_new_work_only():
+def test_new_hold_time_applies_to_new_work_only():
     admission = make_admission(hold_ms=10_000.0, reserve_ms=60_000.0)
     admission.handle(Submit(make_work(b"a")), 0.0)
     [held] = admission.handle(Submit(make_work(b"b")), 0.0)
