Rename test_a_standing_line_is_held_for_less_time to test_work_in_a_standing_queue_is_held_for_less_time

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_standing_line_is_held_for_less_time test_work_in_a_standing_queue_is_held_for_less_time

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -83,7 +83,7 @@
     assert (held.until, later.until) == (10.0, 0.5)
 
 
-def test_a_standing_line_is_held_for_less_time():
+def test_work_in_a_standing_queue_is_held_for_less_time():
     settings = {
         "hold_ms": 1000.0,
         "standing_queue_hold_ms": 200.0,
