Rename test_a_report_only_lowers_trust_beyond_what_was_counted to test_only_a_recent_report_above_the_counted_slots_marks_a_server_as_busier

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_report_only_lowers_trust_beyond_what_was_counted test_only_a_recent_report_above_the_counted_slots_marks_a_server_as_busier

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -108,7 +108,9 @@
     ("busy", "age", "marked_busier"),
     [(1, 0.5, False), (2, 0.5, True), (2, 5.0, False), (0, 0.5, False)],
 )
-def test_a_report_only_lowers_trust_beyond_what_was_counted(busy, age, marked_busier):
+def test_only_a_recent_report_above_the_counted_slots_marks_a_server_as_busier(
+    busy, age, marked_busier
+):
     admission = make_admission(make_server(1), make_server(2), report_fresh_ms=2000.0)
     [placed] = admission.handle(Submit(make_work(b"a")), 0.0)
     admission.handle(Closed(b"a", placed.server), 0.5)
