Rename test_a_server_slower_than_the_service_is_used_last to test_a_server_slower_than_the_service_is_selected_last

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_server_slower_than_the_service_is_used_last test_a_server_slower_than_the_service_is_selected_last

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -121,7 +121,7 @@
     assert admission.load_by_server[placed.server].slots_in_use == 0
 
 
-def test_a_server_slower_than_the_service_is_used_last():
+def test_a_server_slower_than_the_service_is_selected_last():
     admission = make_admission(make_server(1), make_server(2), make_server(3))
     slow = admission.load_by_server[make_server(1).server]
     for name in admission.load_by_server.values():
