Rename test_a_cold_server_is_used_last to test_a_server_in_slow_start_is_selected_last

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_cold_server_is_used_last test_a_server_in_slow_start_is_selected_last

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -135,7 +135,7 @@
     assert servers[-1] == slow.server.server
 
 
-def test_a_cold_server_is_used_last():
+def test_a_server_in_slow_start_is_selected_last():
     admission = make_admission(
         make_server(1, since=0.0), make_server(2), warm_ms=10_000.0
     )
