Rename test_a_placer_that_stands_down_counts_nothing_of_the_old_work to test_work_of_a_service_that_another_vm_places_is_no_longer_counted

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_placer_that_stands_down_counts_nothing_of_the_old_work test_work_of_a_service_that_another_vm_places_is_no_longer_counted

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -146,7 +146,7 @@
     assert placed == [make_server(2).server, make_server(1).server]
 
 
-def test_a_placer_that_stands_down_counts_nothing_of_the_old_work():
+def test_work_of_a_service_that_another_vm_places_is_no_longer_counted():
     admission = make_admission(reserve_ms=60_000.0)
     [placed] = admission.handle(Submit(make_work(b"a")), 0.0)
     admission.handle(Started(b"a", placed.server), 0.1)
