Rename test_a_restored_slot_frees_by_the_age_of_the_digest to test_a_restored_slot_is_released_earlier_for_an_older_digest

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_restored_slot_frees_by_the_age_of_the_digest test_a_restored_slot_is_released_earlier_for_an_older_digest

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -159,7 +159,7 @@
 @pytest.mark.parametrize(
     ("age_s", "free_at"), [(0.0, 10.2), (0.15, 10.05), (0.5, 10.0)]
 )
-def test_a_restored_slot_frees_by_the_age_of_the_digest(age_s, free_at):
+def test_a_restored_slot_is_released_earlier_for_an_older_digest(age_s, free_at):
     admission = make_admission(assumed_short_run_ms=200.0)
     digest = (SlotDigest(make_server().server, busy=1, long=0, connections=1),)
     admission.restore(digest, 10.0, age_s=age_s)
