Rename test_a_digest_holds_what_was_placed to test_a_digest_counts_the_placed_work

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_digest_holds_what_was_placed test_a_digest_counts_the_placed_work

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -171,7 +171,7 @@
     assert isinstance(first, Placed)
 
 
-def test_a_digest_holds_what_was_placed():
+def test_a_digest_counts_the_placed_work():
     admission = make_admission(make_server(1, slots=2))
     [placed] = admission.handle(Submit(make_work(b"a", size=SizeClass.LONG)), 0.0)
     admission.handle(Started(b"a", placed.server), 0.0)
