Rename test_short_work_is_placed_before_long to test_short_work_is_placed_before_long_work

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_short_work_is_placed_before_long test_short_work_is_placed_before_long_work

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -178,7 +178,7 @@
     assert admission.digest(SERVICE) == (SlotDigest(placed.server, 1, 1, 1),)
 
 
-def test_short_work_is_placed_before_long():
+def test_short_work_is_placed_before_long_work():
     admission = make_admission(make_server(1), make_server(2))
     placed = [
         admission.handle(Submit(make_work(name)), 0.0)[0] for name in (b"a", b"b")
