Rename test_long_work_leaves_one_servers_slots_clear to test_long_work_leaves_the_slots_of_one_server_clear

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_long_work_leaves_one_servers_slots_clear test_long_work_leaves_the_slots_of_one_server_clear

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -190,7 +190,7 @@
     assert [first.work_id, second.work_id] == [b"d", b"c"]
 
 
-def test_long_work_leaves_one_servers_slots_clear():
+def test_long_work_leaves_the_slots_of_one_server_clear():
     admission = make_admission(
         make_server(1, slots=2), make_server(2, slots=2), clear_servers=1
     )
