Rename test_feeds_hold_a_connection_and_no_slot to test_answered_work_holds_a_connection_but_no_slot

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_feeds_hold_a_connection_and_no_slot test_answered_work_holds_a_connection_but_no_slot

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -219,7 +219,7 @@
     assert history.expected_class(make_work(b"c", caller="other")) is SizeClass.UNKNOWN
 
 
-def test_feeds_hold_a_connection_and_no_slot():
+def test_answered_work_holds_a_connection_but_no_slot():
     admission = make_admission(make_server(1, connections=2))
     for number in range(2):
         work_id = bytes([number])
