Rename test_later_work_on_a_bound_flow_takes_a_slot_beyond_the_servers to test_later_work_on_a_bound_flow_may_exceed_the_slots_of_the_server

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_later_work_on_a_bound_flow_takes_a_slot_beyond_the_servers test_later_work_on_a_bound_flow_may_exceed_the_slots_of_the_server

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -233,7 +233,7 @@
     )
 
 
-def test_later_work_on_a_bound_flow_takes_a_slot_beyond_the_servers():
+def test_later_work_on_a_bound_flow_may_exceed_the_slots_of_the_server():
     admission = make_admission(make_server(1, slots=1))
     [placed] = admission.handle(Submit(make_work(b"a")), 0.0)
     admission.handle(Started(b"a", placed.server), 0.0)
