Rename test_a_server_that_sheds_is_left_alone_for_longer_each_time to test_backoff_grows_each_time_a_server_sheds_work

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_server_that_sheds_is_left_alone_for_longer_each_time test_backoff_grows_each_time_a_server_sheds_work

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -245,7 +245,7 @@
     assert admission.handle(Answered(b"a", placed.server), 0.5) == []
 
 
-def test_a_server_that_sheds_is_left_alone_for_longer_each_time():
+def test_backoff_grows_each_time_a_server_sheds_work():
     admission = make_admission(shed_backoff_ms=100.0, shed_backoff_limit_ms=300.0)
     now = 0.0
     for pause_s in (0.1, 0.2, 0.3):
