Rename test_retries_are_held_within_a_budget to test_the_retry_budget_limits_held_retries

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_retries_are_held_within_a_budget test_the_retry_budget_limits_held_retries

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -256,7 +256,7 @@
         now += pause_s + 1e-6
 
 
-def test_retries_are_held_within_a_budget():
+def test_the_retry_budget_limits_held_retries():
     admission = make_admission(retry_burst=2, retry_ratio=0.0)
     admission.handle(Submit(make_work(b"a")), 0.0)
     outcomes = [
