Rename test_only_a_far_slot_about_to_be_answered_is_given_again to test_only_a_remote_slot_about_to_be_released_is_reused_early

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_only_a_far_slot_about_to_be_answered_is_given_again test_only_a_remote_slot_about_to_be_released_is_reused_early

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -292,7 +292,7 @@
         (False, 0.02, False),
     ],
 )
-def test_only_a_far_slot_about_to_be_answered_is_given_again(
+def test_only_a_remote_slot_about_to_be_released_is_reused_early(
     early_slot_reuse, age_s, placed
 ):
     remote_server = make_server(2, zone=ZoneName("lpg-a"))
