Rename test_every_outcome_writes_one_decision_line to test_every_outcome_is_logged_once

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_every_outcome_writes_one_decision_line test_every_outcome_is_logged_once

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -308,7 +308,7 @@
     assert isinstance(third, Held)
 
 
-def test_every_outcome_writes_one_decision_line(monkeypatch):
+def test_every_outcome_is_logged_once(monkeypatch):
     lines = []
     monkeypatch.setattr(
         decisions, "log", lambda event, **fields: lines.append((event, fields))
