Rename test_a_service_without_short_work_keeps_no_slot_clear to test_long_work_may_use_every_slot_of_a_service_without_short_work

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_service_without_short_work_keeps_no_slot_clear test_long_work_may_use_every_slot_of_a_service_without_short_work

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -323,7 +323,7 @@
     assert (fields["candidates"], fields["revision"]) == (1, 7)
 
 
-def test_a_service_without_short_work_keeps_no_slot_clear():
+def test_long_work_may_use_every_slot_of_a_service_without_short_work():
     admission = make_admission(make_server(1, slots=2), make_server(2, slots=2))
     outcomes = [
         admission.handle(Submit(make_work(bytes([number]), size=SizeClass.LONG)), 0.0)[
