Rename test_a_tick_at_the_next_deadline_never_leaves_it_due to test_a_tick_at_the_next_deadline_moves_the_deadline_forward

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission.py test_a_tick_at_the_next_deadline_never_leaves_it_due test_a_tick_at_the_next_deadline_moves_the_deadline_forward

--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -335,7 +335,7 @@
 
 
 @pytest.mark.parametrize("number", range(200))
-def test_a_tick_at_the_next_deadline_never_leaves_it_due(number):
+def test_a_tick_at_the_next_deadline_moves_the_deadline_forward(number):
     start_s = random.Random(number).uniform(0.0, 1000.0)
     settings = {
         "standing_queue_hold_ms": 100.0,
