Rename test_the_example_of_the_page_prints_what_the_page_says to test_the_guide_example_prints_the_documented_output

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_embed_page.py test_the_example_of_the_page_prints_what_the_page_says test_the_guide_example_prints_the_documented_output

--- a/libs/placement/tests/test_embed_page.py
+++ b/libs/placement/tests/test_embed_page.py
@@ -6,7 +6,7 @@
 PAGE = Path(__file__).parents[3] / "docs" / "guide" / "embed-placement.md"
 
 
-def test_the_example_of_the_page_prints_what_the_page_says(capsys):
+def test_the_guide_example_prints_the_documented_output(capsys):
     text = PAGE.read_text()
     example = re.search(r"```python\n(.*?)```", text, re.DOTALL).group(1)
     exec(compile(example, str(PAGE), "exec"), {})
