--- a/libs/placement/tests/test_embed_page.py
+++ b/libs/placement/tests/test_embed_page.py
@@ -3,12 +3,12 @@
 import re
 from pathlib import Path
 
-PAGE = Path(__file__).parents[3] / "docs" / "guide" / "embed-placement.md"
+GUIDE_PAGE = Path(__file__).parents[3] / "docs" / "guide" / "embed-placement.md"
 
 
 def test_the_guide_example_prints_the_documented_output(capsys):
-    text = PAGE.read_text()
+    text = GUIDE_PAGE.read_text()
     example = re.search(r"```python\n(.*?)```", text, re.DOTALL).group(1)
-    exec(compile(example, str(PAGE), "exec"), {})
+    exec(compile(example, str(GUIDE_PAGE), "exec"), {})
     printed = capsys.readouterr().out.strip()
     assert f"prints `{printed}`" in text
