Rename printed to output

The variable is the output of the example. The test checks the same as before.

Rename: libs/placement/tests/test_embed_page.py printed output

--- a/libs/placement/tests/test_embed_page.py
+++ b/libs/placement/tests/test_embed_page.py
@@ -10,5 +10,5 @@
     text = GUIDE_PAGE.read_text()
     example = re.search(r"```python\n(.*?)```", text, re.DOTALL).group(1)
     exec(compile(example, str(GUIDE_PAGE), "exec"), {})
-    printed = capsys.readouterr().out.strip()
-    assert f"prints `{printed}`" in text
+    output = capsys.readouterr().out.strip()
+    assert f"prints `{output}`" in text
