Rename History to AdmissionStateMachine

The class is a Hypothesis state machine. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py History AdmissionStateMachine

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -64,7 +64,7 @@
 )
 
 
-class History(RuleBasedStateMachine):
+class AdmissionStateMachine(RuleBasedStateMachine):
     """Any order of events; the outcomes are checked against plain bookkeeping."""
 
     @initialize()
@@ -237,7 +237,7 @@
 
 
 def test_promises_hold_in_any_history():
-    run_state_machine_as_test(History, settings=RUN)
+    run_state_machine_as_test(AdmissionStateMachine, settings=RUN)
 
 
 def _overcommits(monkeypatch):
@@ -281,4 +281,4 @@
 def test_each_promise_fails_when_broken(monkeypatch, mutate, message):
     mutate(monkeypatch)
     with pytest.raises(AssertionError, match=message):
-        run_state_machine_as_test(History, settings=BREAK)
+        run_state_machine_as_test(AdmissionStateMachine, settings=BREAK)
