--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -68,7 +68,7 @@
     """Any order of events; the outcomes are checked against plain bookkeeping."""
 
     @initialize()
-    def begin(self):
+    def start(self):
         self.now = 0.0
         self.admission = Admission(SETTINGS, random.Random(1))
         self.servers = {}
