--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -82,9 +82,9 @@
 
     def handle(self, event, submitted=b""):
         for outcome in self.admission.handle(event, self.now):
-            self.check(outcome, submitted)
+            self.check_outcome(outcome, submitted)
 
-    def check(self, outcome, submitted):
+    def check_outcome(self, outcome, submitted):
         work_id = outcome.work_id
         if isinstance(outcome, Held):
             assert work_id in self.pending or work_id == submitted
