--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -126,9 +126,11 @@
         work_id = self.count.to_bytes(2)
         self.repeatable[work_id] = repeatable
         deadline = self.now + patience_s
-        self.ask(Work(work_id, SERVICE, caller, 0.0, deadline, repeatable, size))
+        self.submit_work(
+            Work(work_id, SERVICE, caller, 0.0, deadline, repeatable, size)
+        )
 
-    def ask(self, work):
+    def submit_work(self, work):
         self.handle(Submit(work), work.work_id)
 
     @precondition(lambda self: self.count)
@@ -138,7 +140,7 @@
         number = data.draw(st.integers(oldest, self.count))
         work_id = number.to_bytes(2)
         repeatable = self.repeatable[work_id]
-        self.ask(Work(work_id, SERVICE, "", 0.0, repeatable=repeatable))
+        self.submit_work(Work(work_id, SERVICE, "", 0.0, repeatable=repeatable))
 
     @precondition(lambda self: self.open)
     @rule(data=st.data(), kind=st.sampled_from([Started, Answered, Closed, Shed]))
