--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -78,7 +78,7 @@
         self.repeatable = {}
         self.gone = set()
         self.count = 0
-        self.change([(ServerState.READY, 2), (ServerState.READY, 1)])
+        self.change_servers([(ServerState.READY, 2), (ServerState.READY, 1)])
 
     def handle(self, event, submitted=b""):
         for outcome in self.admission.handle(event, self.now):
@@ -184,7 +184,7 @@
             st.tuples(st.sampled_from(ServerState), st.integers(1, 3)), max_size=3
         )
     )
-    def change(self, shapes):
+    def change_servers(self, shapes):
         named = zip(NAMES, shapes, strict=False)
         servers = [
             Server(name, ZoneName("cnx-a"), slots, 50, state, -1e6)
