Rename shapes to states_and_slots

The lists hold a state and a slot count for each server. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py shapes states_and_slots

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -180,12 +180,12 @@
         self.handle(LoadReported(name, busy, busy, age))
 
     @rule(
-        shapes=st.lists(
+        states_and_slots=st.lists(
             st.tuples(st.sampled_from(ServerState), st.integers(1, 3)), max_size=3
         )
     )
-    def change_servers(self, shapes):
-        named = zip(NAMES, shapes, strict=False)
+    def change_servers(self, states_and_slots):
+        named = zip(NAMES, states_and_slots, strict=False)
         servers = [
             Server(name, ZoneName("cnx-a"), slots, 50, state, -1e6)
             for name, (state, slots) in named
