Rename named to servers_to_announce

The pairs are those that are announced. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py named servers_to_announce

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -185,10 +185,10 @@
         )
     )
     def change_servers(self, states_and_slots):
-        named = zip(NAMES, states_and_slots, strict=False)
+        servers_to_announce = zip(NAMES, states_and_slots, strict=False)
         servers = [
             Server(name, ZoneName("cnx-a"), slots, 50, state, -1e6)
-            for name, (state, slots) in named
+            for name, (state, slots) in servers_to_announce
         ]
         self.servers = {server.server: server for server in servers}
         self.handle(ServersChanged(SERVICE, tuple(servers)))
