--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -144,7 +144,7 @@
 
     @precondition(lambda self: self.open)
     @rule(data=st.data(), kind=st.sampled_from([Started, Answered, Closed, Shed]))
-    def progress(self, data, kind):
+    def advance_flow(self, data, kind):
         work_id = data.draw(st.sampled_from(sorted(self.open)))
         name = self.open[work_id]
         if kind is Started:
