Rename handle to handle_event

The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py handle handle_event

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -80,7 +80,7 @@
         self.count = 0
         self.change_servers([(ServerState.READY, 2), (ServerState.READY, 1)])
 
-    def handle(self, event, submitted=b""):
+    def handle_event(self, event, submitted=b""):
         for outcome in self.admission.handle(event, self.now):
             self.check_outcome(outcome, submitted)
 
@@ -131,7 +131,7 @@
         )
 
     def submit_work(self, work):
-        self.handle(Submit(work), work.work_id)
+        self.handle_event(Submit(work), work.work_id)
 
     @precondition(lambda self: self.count)
     @rule(data=st.data())
@@ -155,7 +155,7 @@
             del self.open[work_id]
         if kind is Shed:
             self.gone.add(work_id)
-        self.handle(kind(work_id, name))
+        self.handle_event(kind(work_id, name))
 
     @precondition(lambda self: self.open or self.pending)
     @rule(data=st.data(), kind=st.sampled_from([Cancel, OutcomeLost]))
@@ -164,7 +164,7 @@
         if kind is OutcomeLost and work_id in self.open:
             self.slots[self.open.pop(work_id)].discard(work_id)
             self.gone.add(work_id)
-        self.handle(kind(work_id))
+        self.handle_event(kind(work_id))
         assert work_id not in self.pending
 
     @rule(name=st.sampled_from(NAMES), number=st.integers(60_000, 60_003))
@@ -173,11 +173,11 @@
         if work_id not in self.open and name in self.admission.load_by_server:
             self.repeatable[work_id] = False
             self.open[work_id] = name
-            self.handle(Adopted(work_id, SERVICE, name))
+            self.handle_event(Adopted(work_id, SERVICE, name))
 
     @rule(name=st.sampled_from(NAMES), busy=st.integers(0, 9), age=st.floats(0, 5))
     def report(self, name, busy, age):
-        self.handle(LoadReported(name, busy, busy, age))
+        self.handle_event(LoadReported(name, busy, busy, age))
 
     @rule(
         states_and_slots=st.lists(
@@ -191,14 +191,14 @@
             for name, (state, slots) in servers_to_announce
         ]
         self.servers = {server.server: server for server in servers}
-        self.handle(ServersChanged(SERVICE, tuple(servers)))
+        self.handle_event(ServersChanged(SERVICE, tuple(servers)))
 
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.7, 3.0]))
     def wait(self, seconds):
         until = self.now + seconds
         while self.admission.next_deadline() <= until:
             self.now = max(self.admission.next_deadline(), self.now)
-            self.handle(Tick())
+            self.handle_event(Tick())
             assert self.admission.next_deadline() > self.now, (
                 "a tick that changes nothing"
             )
