--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -135,7 +135,7 @@
 
     @precondition(lambda self: self.count)
     @rule(data=st.data())
-    def submit_again(self, data):
+    def resubmit(self, data):
         oldest = max(self.count - SETTINGS.ended_work_limit // 2 + 1, 1)
         number = data.draw(st.integers(oldest, self.count))
         work_id = number.to_bytes(2)
