--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -176,7 +176,7 @@
             self.handle_event(Adopted(work_id, SERVICE, name))
 
     @rule(name=st.sampled_from(NAMES), busy=st.integers(0, 9), age=st.floats(0, 5))
-    def report(self, name, busy, age):
+    def report_load(self, name, busy, age):
         self.handle_event(LoadReported(name, busy, busy, age))
 
     @rule(
