Rename kind to event_type

The variable is the type of the event. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py kind event_type

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -143,28 +143,28 @@
         self.submit_work(Work(work_id, SERVICE, "", 0.0, repeatable=repeatable))
 
     @precondition(lambda self: self.open)
-    @rule(data=st.data(), kind=st.sampled_from([Started, Answered, Closed, Shed]))
-    def advance_flow(self, data, kind):
+    @rule(data=st.data(), event_type=st.sampled_from([Started, Answered, Closed, Shed]))
+    def advance_flow(self, data, event_type):
         work_id = data.draw(st.sampled_from(sorted(self.open)))
         name = self.open[work_id]
-        if kind is Started:
+        if event_type is Started:
             self.slots[name].add(work_id)
         else:
             self.slots[name].discard(work_id)
-        if kind in (Closed, Shed):
+        if event_type in (Closed, Shed):
             del self.open[work_id]
-        if kind is Shed:
+        if event_type is Shed:
             self.gone.add(work_id)
-        self.handle_event(kind(work_id, name))
+        self.handle_event(event_type(work_id, name))
 
     @precondition(lambda self: self.open or self.pending)
-    @rule(data=st.data(), kind=st.sampled_from([Cancel, OutcomeLost]))
-    def give_up(self, data, kind):
+    @rule(data=st.data(), event_type=st.sampled_from([Cancel, OutcomeLost]))
+    def give_up(self, data, event_type):
         work_id = data.draw(st.sampled_from(sorted([*self.open, *self.pending])))
-        if kind is OutcomeLost and work_id in self.open:
+        if event_type is OutcomeLost and work_id in self.open:
             self.slots[self.open.pop(work_id)].discard(work_id)
             self.gone.add(work_id)
-        self.handle_event(kind(work_id))
+        self.handle_event(event_type(work_id))
         assert work_id not in self.pending
 
     @rule(name=st.sampled_from(NAMES), number=st.integers(60_000, 60_003))
