--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -48,7 +48,7 @@
 from kumquatmux_placement.waiting import WaitQueue
 
 SERVICE = ServiceName("entries")
-NAMES = [ServerId(f"127.0.0.{number}:9000") for number in (1, 2, 3)]
+SERVER_IDS = [ServerId(f"127.0.0.{number}:9000") for number in (1, 2, 3)]
 FOREVER_MS = 1e12
 SETTINGS = PlacementSettings(
     hold_ms=1000.0,
@@ -74,7 +74,7 @@
         self.servers = {}
         self.pending = {}
         self.open = {}
-        self.slots = {name: set() for name in NAMES}
+        self.slots = {name: set() for name in SERVER_IDS}
         self.repeatable = {}
         self.gone = set()
         self.count = 0
@@ -167,7 +167,7 @@
         self.handle_event(event_type(work_id))
         assert work_id not in self.pending
 
-    @rule(name=st.sampled_from(NAMES), number=st.integers(60_000, 60_003))
+    @rule(name=st.sampled_from(SERVER_IDS), number=st.integers(60_000, 60_003))
     def adopt(self, name, number):
         work_id = number.to_bytes(2)
         if work_id not in self.open and name in self.admission.load_by_server:
@@ -175,7 +175,7 @@
             self.open[work_id] = name
             self.handle_event(Adopted(work_id, SERVICE, name))
 
-    @rule(name=st.sampled_from(NAMES), busy=st.integers(0, 9), age=st.floats(0, 5))
+    @rule(name=st.sampled_from(SERVER_IDS), busy=st.integers(0, 9), age=st.floats(0, 5))
     def report_load(self, name, busy, age):
         self.handle_event(LoadReported(name, busy, busy, age))
 
@@ -185,7 +185,7 @@
         )
     )
     def change_servers(self, states_and_slots):
-        servers_to_announce = zip(NAMES, states_and_slots, strict=False)
+        servers_to_announce = zip(SERVER_IDS, states_and_slots, strict=False)
         servers = [
             Server(name, ZoneName("cnx-a"), slots, 50, state, -1e6)
             for name, (state, slots) in servers_to_announce
