Rename gone to ids_with_unknown_outcome

The set holds work whose outcome is unknown. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py gone ids_with_unknown_outcome

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -76,7 +76,7 @@
         self.open = {}
         self.slots = {name: set() for name in SERVER_IDS}
         self.repeatable = {}
-        self.gone = set()
+        self.ids_with_unknown_outcome = set()
         self.count = 0
         self.change_servers([(ServerState.READY, 2), (ServerState.READY, 1)])
 
@@ -97,17 +97,21 @@
         elif isinstance(outcome, (Refused, Cancelled)):
             assert work_id in self.pending or work_id == submitted
             assert work_id not in self.open, "refused work was placed"
-            certain = self.repeatable[work_id] or work_id not in self.gone
+            certain = (
+                self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
+            )
             assert certain, "called not run"
             self.pending.pop(work_id, None)
         elif isinstance(outcome, Unknown):
-            assert work_id in self.gone, "work with a known fate"
+            assert work_id in self.ids_with_unknown_outcome, "work with a known fate"
 
     def check_placed(self, outcome, submitted):
         work_id, name = outcome.work_id, outcome.server
         assert work_id in self.pending or work_id == submitted, "not asked for"
         assert work_id not in self.open, "placed twice"
-        assert self.repeatable[work_id] or work_id not in self.gone, "placed again"
+        assert (
+            self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
+        ), "placed again"
         assert name in self.servers, "not ready: gone"
         assert self.servers[name].state is ServerState.READY, "not ready"
         assert len(self.slots[name]) < self.servers[name].slots, "over-committed"
@@ -154,7 +158,7 @@
         if event_type in (Closed, Shed):
             del self.open[work_id]
         if event_type is Shed:
-            self.gone.add(work_id)
+            self.ids_with_unknown_outcome.add(work_id)
         self.handle_event(event_type(work_id, name))
 
     @precondition(lambda self: self.open or self.pending)
@@ -163,7 +167,7 @@
         work_id = data.draw(st.sampled_from(sorted([*self.open, *self.pending])))
         if event_type is OutcomeLost and work_id in self.open:
             self.slots[self.open.pop(work_id)].discard(work_id)
-            self.gone.add(work_id)
+            self.ids_with_unknown_outcome.add(work_id)
         self.handle_event(event_type(work_id))
         assert work_id not in self.pending
 
