Rename open to server_by_open_work

The mapping gives the server of each open work item. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py open server_by_open_work

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -73,7 +73,7 @@
         self.admission = Admission(SETTINGS, random.Random(1))
         self.servers = {}
         self.pending = {}
-        self.open = {}
+        self.server_by_open_work = {}
         self.slots = {name: set() for name in SERVER_IDS}
         self.repeatable = {}
         self.ids_with_unknown_outcome = set()
@@ -91,12 +91,12 @@
             assert outcome.until <= self.now + SETTINGS.hold_ms / 1000.0
             self.pending[work_id] = outcome.until
         elif isinstance(outcome, Placed) and outcome.reason == "already-placed":
-            assert self.open[work_id] == outcome.server
+            assert self.server_by_open_work[work_id] == outcome.server
         elif isinstance(outcome, Placed):
             self.check_placed(outcome, submitted)
         elif isinstance(outcome, (Refused, Cancelled)):
             assert work_id in self.pending or work_id == submitted
-            assert work_id not in self.open, "refused work was placed"
+            assert work_id not in self.server_by_open_work, "refused work was placed"
             certain = (
                 self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
             )
@@ -108,7 +108,7 @@
     def check_placed(self, outcome, submitted):
         work_id, name = outcome.work_id, outcome.server
         assert work_id in self.pending or work_id == submitted, "not asked for"
-        assert work_id not in self.open, "placed twice"
+        assert work_id not in self.server_by_open_work, "placed twice"
         assert (
             self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
         ), "placed again"
@@ -116,7 +116,7 @@
         assert self.servers[name].state is ServerState.READY, "not ready"
         assert len(self.slots[name]) < self.servers[name].slots, "over-committed"
         self.pending.pop(work_id, None)
-        self.open[work_id] = name
+        self.server_by_open_work[work_id] = name
         self.slots[name].add(work_id)
 
     @rule(
@@ -146,27 +146,29 @@
         repeatable = self.repeatable[work_id]
         self.submit_work(Work(work_id, SERVICE, "", 0.0, repeatable=repeatable))
 
-    @precondition(lambda self: self.open)
+    @precondition(lambda self: self.server_by_open_work)
     @rule(data=st.data(), event_type=st.sampled_from([Started, Answered, Closed, Shed]))
     def advance_flow(self, data, event_type):
-        work_id = data.draw(st.sampled_from(sorted(self.open)))
-        name = self.open[work_id]
+        work_id = data.draw(st.sampled_from(sorted(self.server_by_open_work)))
+        name = self.server_by_open_work[work_id]
         if event_type is Started:
             self.slots[name].add(work_id)
         else:
             self.slots[name].discard(work_id)
         if event_type in (Closed, Shed):
-            del self.open[work_id]
+            del self.server_by_open_work[work_id]
         if event_type is Shed:
             self.ids_with_unknown_outcome.add(work_id)
         self.handle_event(event_type(work_id, name))
 
-    @precondition(lambda self: self.open or self.pending)
+    @precondition(lambda self: self.server_by_open_work or self.pending)
     @rule(data=st.data(), event_type=st.sampled_from([Cancel, OutcomeLost]))
     def give_up(self, data, event_type):
-        work_id = data.draw(st.sampled_from(sorted([*self.open, *self.pending])))
-        if event_type is OutcomeLost and work_id in self.open:
-            self.slots[self.open.pop(work_id)].discard(work_id)
+        work_id = data.draw(
+            st.sampled_from(sorted([*self.server_by_open_work, *self.pending]))
+        )
+        if event_type is OutcomeLost and work_id in self.server_by_open_work:
+            self.slots[self.server_by_open_work.pop(work_id)].discard(work_id)
             self.ids_with_unknown_outcome.add(work_id)
         self.handle_event(event_type(work_id))
         assert work_id not in self.pending
@@ -174,9 +176,12 @@
     @rule(name=st.sampled_from(SERVER_IDS), number=st.integers(60_000, 60_003))
     def adopt(self, name, number):
         work_id = number.to_bytes(2)
-        if work_id not in self.open and name in self.admission.load_by_server:
+        if (
+            work_id not in self.server_by_open_work
+            and name in self.admission.load_by_server
+        ):
             self.repeatable[work_id] = False
-            self.open[work_id] = name
+            self.server_by_open_work[work_id] = name
             self.handle_event(Adopted(work_id, SERVICE, name))
 
     @rule(name=st.sampled_from(SERVER_IDS), busy=st.integers(0, 9), age=st.floats(0, 5))
@@ -216,7 +221,7 @@
     @invariant()
     def memory_is_bounded(self):
         pool = self.admission.pool_for(SERVICE)
-        assert set(self.admission.flows) == set(self.open)
+        assert set(self.admission.flows) == set(self.server_by_open_work)
         assert len(pool.line) == len(self.pending) <= SETTINGS.queue_limit
         assert len(pool.line.expiry_heap) <= 2 * len(pool.line) + 17
         assert (
@@ -232,7 +237,7 @@
         connections = sum(
             load.open_connections for load in self.admission.load_by_server.values()
         )
-        assert connections <= len(self.open)
+        assert connections <= len(self.server_by_open_work)
 
 
 @pytest.fixture(autouse=True)
