--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -72,7 +72,7 @@
         self.now = 0.0
         self.admission = Admission(SETTINGS, random.Random(1))
         self.servers = {}
-        self.pending = {}
+        self.deadline_by_held_work = {}
         self.server_by_open_work = {}
         self.slots = {name: set() for name in SERVER_IDS}
         self.repeatable = {}
@@ -87,27 +87,29 @@
     def check_outcome(self, outcome, submitted):
         work_id = outcome.work_id
         if isinstance(outcome, Held):
-            assert work_id in self.pending or work_id == submitted
+            assert work_id in self.deadline_by_held_work or work_id == submitted
             assert outcome.until <= self.now + SETTINGS.hold_ms / 1000.0
-            self.pending[work_id] = outcome.until
+            self.deadline_by_held_work[work_id] = outcome.until
         elif isinstance(outcome, Placed) and outcome.reason == "already-placed":
             assert self.server_by_open_work[work_id] == outcome.server
         elif isinstance(outcome, Placed):
             self.check_placed(outcome, submitted)
         elif isinstance(outcome, (Refused, Cancelled)):
-            assert work_id in self.pending or work_id == submitted
+            assert work_id in self.deadline_by_held_work or work_id == submitted
             assert work_id not in self.server_by_open_work, "refused work was placed"
             certain = (
                 self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
             )
             assert certain, "called not run"
-            self.pending.pop(work_id, None)
+            self.deadline_by_held_work.pop(work_id, None)
         elif isinstance(outcome, Unknown):
             assert work_id in self.ids_with_unknown_outcome, "work with a known fate"
 
     def check_placed(self, outcome, submitted):
         work_id, name = outcome.work_id, outcome.server
-        assert work_id in self.pending or work_id == submitted, "not asked for"
+        assert work_id in self.deadline_by_held_work or work_id == submitted, (
+            "not asked for"
+        )
         assert work_id not in self.server_by_open_work, "placed twice"
         assert (
             self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
@@ -115,7 +117,7 @@
         assert name in self.servers, "not ready: gone"
         assert self.servers[name].state is ServerState.READY, "not ready"
         assert len(self.slots[name]) < self.servers[name].slots, "over-committed"
-        self.pending.pop(work_id, None)
+        self.deadline_by_held_work.pop(work_id, None)
         self.server_by_open_work[work_id] = name
         self.slots[name].add(work_id)
 
@@ -161,17 +163,19 @@
             self.ids_with_unknown_outcome.add(work_id)
         self.handle_event(event_type(work_id, name))
 
-    @precondition(lambda self: self.server_by_open_work or self.pending)
+    @precondition(lambda self: self.server_by_open_work or self.deadline_by_held_work)
     @rule(data=st.data(), event_type=st.sampled_from([Cancel, OutcomeLost]))
     def give_up(self, data, event_type):
         work_id = data.draw(
-            st.sampled_from(sorted([*self.server_by_open_work, *self.pending]))
+            st.sampled_from(
+                sorted([*self.server_by_open_work, *self.deadline_by_held_work])
+            )
         )
         if event_type is OutcomeLost and work_id in self.server_by_open_work:
             self.slots[self.server_by_open_work.pop(work_id)].discard(work_id)
             self.ids_with_unknown_outcome.add(work_id)
         self.handle_event(event_type(work_id))
-        assert work_id not in self.pending
+        assert work_id not in self.deadline_by_held_work
 
     @rule(name=st.sampled_from(SERVER_IDS), number=st.integers(60_000, 60_003))
     def adopt(self, name, number):
@@ -215,14 +219,16 @@
 
     @invariant()
     def held_work_is_decided_by_its_deadline(self):
-        late = [until for until in self.pending.values() if until < self.now]
+        late = [
+            until for until in self.deadline_by_held_work.values() if until < self.now
+        ]
         assert not late, "held beyond its deadline"
 
     @invariant()
     def memory_is_bounded(self):
         pool = self.admission.pool_for(SERVICE)
         assert set(self.admission.flows) == set(self.server_by_open_work)
-        assert len(pool.line) == len(self.pending) <= SETTINGS.queue_limit
+        assert len(pool.line) == len(self.deadline_by_held_work) <= SETTINGS.queue_limit
         assert len(pool.line.expiry_heap) <= 2 * len(pool.line) + 17
         assert (
             len(pool.run_time_history.long_share_by_caller)
