Rename slots to work_by_server

The mapping gives the work that takes a slot of each server. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py slots work_by_server

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -74,7 +74,7 @@
         self.servers = {}
         self.deadline_by_held_work = {}
         self.server_by_open_work = {}
-        self.slots = {name: set() for name in SERVER_IDS}
+        self.work_by_server = {name: set() for name in SERVER_IDS}
         self.repeatable = {}
         self.ids_with_unknown_outcome = set()
         self.count = 0
@@ -116,10 +116,12 @@
         ), "placed again"
         assert name in self.servers, "not ready: gone"
         assert self.servers[name].state is ServerState.READY, "not ready"
-        assert len(self.slots[name]) < self.servers[name].slots, "over-committed"
+        assert len(self.work_by_server[name]) < self.servers[name].slots, (
+            "over-committed"
+        )
         self.deadline_by_held_work.pop(work_id, None)
         self.server_by_open_work[work_id] = name
-        self.slots[name].add(work_id)
+        self.work_by_server[name].add(work_id)
 
     @rule(
         size=st.sampled_from(SizeClass),
@@ -154,9 +156,9 @@
         work_id = data.draw(st.sampled_from(sorted(self.server_by_open_work)))
         name = self.server_by_open_work[work_id]
         if event_type is Started:
-            self.slots[name].add(work_id)
+            self.work_by_server[name].add(work_id)
         else:
-            self.slots[name].discard(work_id)
+            self.work_by_server[name].discard(work_id)
         if event_type in (Closed, Shed):
             del self.server_by_open_work[work_id]
         if event_type is Shed:
@@ -172,7 +174,7 @@
             )
         )
         if event_type is OutcomeLost and work_id in self.server_by_open_work:
-            self.slots[self.server_by_open_work.pop(work_id)].discard(work_id)
+            self.work_by_server[self.server_by_open_work.pop(work_id)].discard(work_id)
             self.ids_with_unknown_outcome.add(work_id)
         self.handle_event(event_type(work_id))
         assert work_id not in self.deadline_by_held_work
