--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -77,7 +77,7 @@
         self.work_by_server = {name: set() for name in SERVER_IDS}
         self.repeatable = {}
         self.ids_with_unknown_outcome = set()
-        self.count = 0
+        self.submit_count = 0
         self.change_servers([(ServerState.READY, 2), (ServerState.READY, 1)])
 
     def handle_event(self, event, submitted=b""):
@@ -130,8 +130,8 @@
         patience_s=st.sampled_from([0.05, 0.5, float("inf")]),
     )
     def submit(self, size, repeatable, caller, patience_s):
-        self.count += 1
-        work_id = self.count.to_bytes(2)
+        self.submit_count += 1
+        work_id = self.submit_count.to_bytes(2)
         self.repeatable[work_id] = repeatable
         deadline = self.now + patience_s
         self.submit_work(
@@ -141,11 +141,11 @@
     def submit_work(self, work):
         self.handle_event(Submit(work), work.work_id)
 
-    @precondition(lambda self: self.count)
+    @precondition(lambda self: self.submit_count)
     @rule(data=st.data())
     def resubmit(self, data):
-        oldest = max(self.count - SETTINGS.ended_work_limit // 2 + 1, 1)
-        number = data.draw(st.integers(oldest, self.count))
+        oldest = max(self.submit_count - SETTINGS.ended_work_limit // 2 + 1, 1)
+        number = data.draw(st.integers(oldest, self.submit_count))
         work_id = number.to_bytes(2)
         repeatable = self.repeatable[work_id]
         self.submit_work(Work(work_id, SERVICE, "", 0.0, repeatable=repeatable))
