Rename certain to not_run

True if the work certainly did not run. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py certain not_run

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -97,10 +97,10 @@
         elif isinstance(outcome, (Refused, Cancelled)):
             assert work_id in self.deadline_by_held_work or work_id == submitted
             assert work_id not in self.server_by_open_work, "refused work was placed"
-            certain = (
+            not_run = (
                 self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
             )
-            assert certain, "called not run"
+            assert not_run, "called not run"
             self.deadline_by_held_work.pop(work_id, None)
         elif isinstance(outcome, Unknown):
             assert work_id in self.ids_with_unknown_outcome, "work with a known fate"
