--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -221,10 +221,10 @@
 
     @invariant()
     def held_work_is_decided_by_its_deadline(self):
-        late = [
+        overdue = [
             until for until in self.deadline_by_held_work.values() if until < self.now
         ]
-        assert not late, "held beyond its deadline"
+        assert not overdue, "held beyond its deadline"
 
     @invariant()
     def memory_is_bounded(self):
