--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -74,7 +74,7 @@
         self.servers = {}
         self.deadline_by_held_work = {}
         self.server_by_open_work = {}
-        self.work_by_server = {name: set() for name in SERVER_IDS}
+        self.work_by_server = {server_id: set() for server_id in SERVER_IDS}
         self.repeatable = {}
         self.ids_with_unknown_outcome = set()
         self.submit_count = 0
@@ -106,7 +106,7 @@
             assert work_id in self.ids_with_unknown_outcome, "work with a known fate"
 
     def check_placed(self, outcome, submitted):
-        work_id, name = outcome.work_id, outcome.server
+        work_id, server_id = outcome.work_id, outcome.server
         assert work_id in self.deadline_by_held_work or work_id == submitted, (
             "not asked for"
         )
@@ -114,14 +114,14 @@
         assert (
             self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
         ), "placed again"
-        assert name in self.servers, "not ready: gone"
-        assert self.servers[name].state is ServerState.READY, "not ready"
-        assert len(self.work_by_server[name]) < self.servers[name].slots, (
+        assert server_id in self.servers, "not ready: gone"
+        assert self.servers[server_id].state is ServerState.READY, "not ready"
+        assert len(self.work_by_server[server_id]) < self.servers[server_id].slots, (
             "over-committed"
         )
         self.deadline_by_held_work.pop(work_id, None)
-        self.server_by_open_work[work_id] = name
-        self.work_by_server[name].add(work_id)
+        self.server_by_open_work[work_id] = server_id
+        self.work_by_server[server_id].add(work_id)
 
     @rule(
         size=st.sampled_from(SizeClass),
@@ -154,16 +154,16 @@
     @rule(data=st.data(), event_type=st.sampled_from([Started, Answered, Closed, Shed]))
     def advance_flow(self, data, event_type):
         work_id = data.draw(st.sampled_from(sorted(self.server_by_open_work)))
-        name = self.server_by_open_work[work_id]
+        server_id = self.server_by_open_work[work_id]
         if event_type is Started:
-            self.work_by_server[name].add(work_id)
+            self.work_by_server[server_id].add(work_id)
         else:
-            self.work_by_server[name].discard(work_id)
+            self.work_by_server[server_id].discard(work_id)
         if event_type in (Closed, Shed):
             del self.server_by_open_work[work_id]
         if event_type is Shed:
             self.ids_with_unknown_outcome.add(work_id)
-        self.handle_event(event_type(work_id, name))
+        self.handle_event(event_type(work_id, server_id))
 
     @precondition(lambda self: self.server_by_open_work or self.deadline_by_held_work)
     @rule(data=st.data(), event_type=st.sampled_from([Cancel, OutcomeLost]))
@@ -179,20 +179,24 @@
         self.handle_event(event_type(work_id))
         assert work_id not in self.deadline_by_held_work
 
-    @rule(name=st.sampled_from(SERVER_IDS), number=st.integers(60_000, 60_003))
-    def adopt(self, name, number):
+    @rule(server_id=st.sampled_from(SERVER_IDS), number=st.integers(60_000, 60_003))
+    def adopt(self, server_id, number):
         work_id = number.to_bytes(2)
         if (
             work_id not in self.server_by_open_work
-            and name in self.admission.load_by_server
+            and server_id in self.admission.load_by_server
         ):
             self.repeatable[work_id] = False
-            self.server_by_open_work[work_id] = name
-            self.handle_event(Adopted(work_id, SERVICE, name))
+            self.server_by_open_work[work_id] = server_id
+            self.handle_event(Adopted(work_id, SERVICE, server_id))
 
-    @rule(name=st.sampled_from(SERVER_IDS), busy=st.integers(0, 9), age=st.floats(0, 5))
-    def report_load(self, name, busy, age):
-        self.handle_event(LoadReported(name, busy, busy, age))
+    @rule(
+        server_id=st.sampled_from(SERVER_IDS),
+        busy=st.integers(0, 9),
+        age=st.floats(0, 5),
+    )
+    def report_load(self, server_id, busy, age):
+        self.handle_event(LoadReported(server_id, busy, busy, age))
 
     @rule(
         states_and_slots=st.lists(
@@ -202,8 +206,8 @@
     def change_servers(self, states_and_slots):
         servers_to_announce = zip(SERVER_IDS, states_and_slots, strict=False)
         servers = [
-            Server(name, ZoneName("cnx-a"), slots, 50, state, -1e6)
-            for name, (state, slots) in servers_to_announce
+            Server(server_id, ZoneName("cnx-a"), slots, 50, state, -1e6)
+            for server_id, (state, slots) in servers_to_announce
         ]
         self.servers = {server.server: server for server in servers}
         self.handle_event(ServersChanged(SERVICE, tuple(servers)))
