Rename RUN to PROPERTY_SETTINGS

The settings are those of the property test. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py RUN PROPERTY_SETTINGS

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -58,9 +58,12 @@
     ended_work_limit=8,
     history_caller_limit=3,
 )
-RUN = hypothesis_settings(max_examples=40, stateful_step_count=40)
+PROPERTY_SETTINGS = hypothesis_settings(max_examples=40, stateful_step_count=40)
 BREAK = hypothesis_settings(
-    RUN, max_examples=400, phases=[Phase.generate], report_multiple_bugs=False
+    PROPERTY_SETTINGS,
+    max_examples=400,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
 )
 
 
@@ -260,7 +263,7 @@
 
 
 def test_promises_hold_in_any_history():
-    run_state_machine_as_test(AdmissionStateMachine, settings=RUN)
+    run_state_machine_as_test(AdmissionStateMachine, settings=PROPERTY_SETTINGS)
 
 
 def _overcommits(monkeypatch):
