Rename BREAK to MUTATION_SETTINGS

The settings are those of the mutation tests. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py BREAK MUTATION_SETTINGS

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -59,7 +59,7 @@
     history_caller_limit=3,
 )
 PROPERTY_SETTINGS = hypothesis_settings(max_examples=40, stateful_step_count=40)
-BREAK = hypothesis_settings(
+MUTATION_SETTINGS = hypothesis_settings(
     PROPERTY_SETTINGS,
     max_examples=400,
     phases=[Phase.generate],
@@ -307,4 +307,4 @@
 def test_each_promise_fails_when_broken(monkeypatch, mutate, message):
     mutate(monkeypatch)
     with pytest.raises(AssertionError, match=message):
-        run_state_machine_as_test(AdmissionStateMachine, settings=BREAK)
+        run_state_machine_as_test(AdmissionStateMachine, settings=MUTATION_SETTINGS)
