Rename memory_is_bounded to memory_use_is_bounded

Says what is bounded. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py memory_is_bounded memory_use_is_bounded

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -234,7 +234,7 @@
         assert not overdue, "held beyond its deadline"
 
     @invariant()
-    def memory_is_bounded(self):
+    def memory_use_is_bounded(self):
         pool = self.admission.pool_for(SERVICE)
         assert set(self.admission.flows) == set(self.server_by_open_work)
         assert len(pool.line) == len(self.deadline_by_held_work) <= SETTINGS.queue_limit
