Rename quiet to disable_decision_log

Says what the fixture does. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py quiet disable_decision_log

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -256,7 +256,7 @@
 
 
 @pytest.fixture(autouse=True)
-def quiet():
+def disable_decision_log():
     decisions.configure(as_json=False, enabled=False)
     yield
     decisions.configure(as_json=False, enabled=True)
