Rename mutate to break_property

Says what the function is for. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py mutate break_property

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -294,7 +294,7 @@
 
 
 @pytest.mark.parametrize(
-    ("mutate", "message"),
+    ("break_property", "message"),
     [
         (_overcommits, "over-committed"),
         (_places_anywhere, "not ready"),
@@ -304,7 +304,7 @@
         (_remembers_all, "ended_work_limit|assert"),
     ],
 )
-def test_each_promise_fails_when_broken(monkeypatch, mutate, message):
-    mutate(monkeypatch)
+def test_each_promise_fails_when_broken(monkeypatch, break_property, message):
+    break_property(monkeypatch)
     with pytest.raises(AssertionError, match=message):
         run_state_machine_as_test(AdmissionStateMachine, settings=MUTATION_SETTINGS)
