Rename _overcommits to _ignore_slots_in_use

Says what the mutation does. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py _overcommits _ignore_slots_in_use

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -266,7 +266,7 @@
     run_state_machine_as_test(AdmissionStateMachine, settings=PROPERTY_SETTINGS)
 
 
-def _overcommits(monkeypatch):
+def _ignore_slots_in_use(monkeypatch):
     monkeypatch.setattr(ServerLoad, "slots_in_use", property(lambda load: 0))
 
 
@@ -296,7 +296,7 @@
 @pytest.mark.parametrize(
     ("break_property", "message"),
     [
-        (_overcommits, "over-committed"),
+        (_ignore_slots_in_use, "over-committed"),
         (_places_anywhere, "not ready"),
         (_never_refuses, "held beyond|changes nothing"),
         (_forgets_submitted, "placed twice|placed again|called not run"),
