Rename _places_anywhere to _accept_work_on_every_server

Says what the mutation does. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py _places_anywhere _accept_work_on_every_server

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -270,7 +270,7 @@
     monkeypatch.setattr(ServerLoad, "slots_in_use", property(lambda load: 0))
 
 
-def _places_anywhere(monkeypatch):
+def _accept_work_on_every_server(monkeypatch):
     monkeypatch.setattr(ServerLoad, "accepts_new_work", lambda load, now: True)
 
 
@@ -297,7 +297,7 @@
     ("break_property", "message"),
     [
         (_ignore_slots_in_use, "over-committed"),
-        (_places_anywhere, "not ready"),
+        (_accept_work_on_every_server, "not ready"),
         (_never_refuses, "held beyond|changes nothing"),
         (_forgets_submitted, "placed twice|placed again|called not run"),
         (_forgets_lost, "placed again|called not run"),
