Rename _never_refuses to _never_expire_held_work

Says what the mutation does. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py _never_refuses _never_expire_held_work

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -274,7 +274,7 @@
     monkeypatch.setattr(ServerLoad, "accepts_new_work", lambda load, now: True)
 
 
-def _never_refuses(monkeypatch):
+def _never_expire_held_work(monkeypatch):
     monkeypatch.setattr(WaitQueue, "remove_expired", lambda line, now: [])
 
 
@@ -298,7 +298,7 @@
     [
         (_ignore_slots_in_use, "over-committed"),
         (_accept_work_on_every_server, "not ready"),
-        (_never_refuses, "held beyond|changes nothing"),
+        (_never_expire_held_work, "held beyond|changes nothing"),
         (_forgets_submitted, "placed twice|placed again|called not run"),
         (_forgets_lost, "placed again|called not run"),
         (_remembers_all, "ended_work_limit|assert"),
