Rename _forgets_submitted to _forget_submitted_work

Says what the mutation does. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py _forgets_submitted _forget_submitted_work

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -278,7 +278,7 @@
     monkeypatch.setattr(WaitQueue, "remove_expired", lambda line, now: [])
 
 
-def _forgets_submitted(monkeypatch):
+def _forget_submitted_work(monkeypatch):
     monkeypatch.setattr(Admission, "repeat_outcome", lambda admission, work, pool: None)
 
 
@@ -299,7 +299,7 @@
         (_ignore_slots_in_use, "over-committed"),
         (_accept_work_on_every_server, "not ready"),
         (_never_expire_held_work, "held beyond|changes nothing"),
-        (_forgets_submitted, "placed twice|placed again|called not run"),
+        (_forget_submitted_work, "placed twice|placed again|called not run"),
         (_forgets_lost, "placed again|called not run"),
         (_remembers_all, "ended_work_limit|assert"),
     ],
