Rename _forgets_lost to _forget_unknown_outcomes

Says what the mutation does. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py _forgets_lost _forget_unknown_outcomes

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -282,7 +282,7 @@
     monkeypatch.setattr(Admission, "repeat_outcome", lambda admission, work, pool: None)
 
 
-def _forgets_lost(monkeypatch):
+def _forget_unknown_outcomes(monkeypatch):
     monkeypatch.setattr(RecentWorkIds, "contains", lambda ended, work_id, now: False)
 
 
@@ -300,7 +300,7 @@
         (_accept_work_on_every_server, "not ready"),
         (_never_expire_held_work, "held beyond|changes nothing"),
         (_forget_submitted_work, "placed twice|placed again|called not run"),
-        (_forgets_lost, "placed again|called not run"),
+        (_forget_unknown_outcomes, "placed again|called not run"),
         (_remembers_all, "ended_work_limit|assert"),
     ],
 )
