Rename _remembers_all to _never_evict_work_ids

Says what the mutation does. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py _remembers_all _never_evict_work_ids

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -286,7 +286,7 @@
     monkeypatch.setattr(RecentWorkIds, "contains", lambda ended, work_id, now: False)
 
 
-def _remembers_all(monkeypatch):
+def _never_evict_work_ids(monkeypatch):
     def add(ended, work_id, now):
         ended.ended_at[work_id] = now
 
@@ -301,7 +301,7 @@
         (_never_expire_held_work, "held beyond|changes nothing"),
         (_forget_submitted_work, "placed twice|placed again|called not run"),
         (_forget_unknown_outcomes, "placed again|called not run"),
-        (_remembers_all, "ended_work_limit|assert"),
+        (_never_evict_work_ids, "ended_work_limit|assert"),
     ],
 )
 def test_each_promise_fails_when_broken(monkeypatch, break_property, message):
