Rename test_promises_hold_in_any_history to test_properties_hold_for_any_order_of_events

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py test_promises_hold_in_any_history test_properties_hold_for_any_order_of_events

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -262,7 +262,7 @@
     decisions.configure(as_json=False, enabled=True)
 
 
-def test_promises_hold_in_any_history():
+def test_properties_hold_for_any_order_of_events():
     run_state_machine_as_test(AdmissionStateMachine, settings=PROPERTY_SETTINGS)
 
 
