Rename test_each_promise_fails_when_broken to test_each_broken_property_is_detected

The test name now says what is checked in the usual terms. The test checks the same as before.

Rename: libs/placement/tests/test_admission_machine.py test_each_promise_fails_when_broken test_each_broken_property_is_detected

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -304,7 +304,7 @@
         (_never_evict_work_ids, "ended_work_limit|assert"),
     ],
 )
-def test_each_promise_fails_when_broken(monkeypatch, break_property, message):
+def test_each_broken_property_is_detected(monkeypatch, break_property, message):
     break_property(monkeypatch)
     with pytest.raises(AssertionError, match=message):
         run_state_machine_as_test(AdmissionStateMachine, settings=MUTATION_SETTINGS)
