Reword the texts of the admission property test

Messages and docstrings now name the property in the usual terms. Each message pattern changed together with its message; the checks are as strict as before.

--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -1,4 +1,4 @@
-"""Histories of admission, and each promise shown to fail when it is broken."""
+"""Property-based test of admission, with a check that each property can fail."""
 
 from __future__ import annotations
 
@@ -68,7 +68,7 @@
 
 
 class AdmissionStateMachine(RuleBasedStateMachine):
-    """Any order of events; the outcomes are checked against plain bookkeeping."""
+    """Applies events in any order and checks the outcomes against a simple model."""
 
     @initialize()
     def start(self):
@@ -103,21 +103,21 @@
             not_run = (
                 self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
             )
-            assert not_run, "called not run"
+            assert not_run, "reported as not run"
             self.deadline_by_held_work.pop(work_id, None)
         elif isinstance(outcome, Unknown):
-            assert work_id in self.ids_with_unknown_outcome, "work with a known fate"
+            assert work_id in self.ids_with_unknown_outcome, "outcome is known"
 
     def check_placed(self, outcome, submitted):
         work_id, server_id = outcome.work_id, outcome.server
         assert work_id in self.deadline_by_held_work or work_id == submitted, (
-            "not asked for"
+            "was not submitted"
         )
         assert work_id not in self.server_by_open_work, "placed twice"
         assert (
             self.repeatable[work_id] or work_id not in self.ids_with_unknown_outcome
         ), "placed again"
-        assert server_id in self.servers, "not ready: gone"
+        assert server_id in self.servers, "not ready: removed"
         assert self.servers[server_id].state is ServerState.READY, "not ready"
         assert len(self.work_by_server[server_id]) < self.servers[server_id].slots, (
             "over-committed"
@@ -222,7 +222,7 @@
             self.now = max(self.admission.next_deadline(), self.now)
             self.handle_event(Tick())
             assert self.admission.next_deadline() > self.now, (
-                "a tick that changes nothing"
+                "tick left the deadline due"
             )
         self.now = until
 
@@ -298,9 +298,9 @@
     [
         (_ignore_slots_in_use, "over-committed"),
         (_accept_work_on_every_server, "not ready"),
-        (_never_expire_held_work, "held beyond|changes nothing"),
-        (_forget_submitted_work, "placed twice|placed again|called not run"),
-        (_forget_unknown_outcomes, "placed again|called not run"),
+        (_never_expire_held_work, "held beyond|left the deadline due"),
+        (_forget_submitted_work, "placed twice|placed again|reported as not run"),
+        (_forget_unknown_outcomes, "placed again|reported as not run"),
         (_never_evict_work_ids, "ended_work_limit|assert"),
     ],
 )
