--- a/libs/placement/src/kumquatmux_placement/backend.py
+++ b/libs/placement/src/kumquatmux_placement/backend.py
@@ -173,7 +173,7 @@
         is_local = not self.settings.zone or self.server.zone == self.settings.zone
         if (
             is_local
-            or not self.settings.early_slot_reuse
+            or not self.settings.bind_ahead
             or not self.history.mean_short_run_s
         ):
             return 0.0, 0.0
--- a/libs/placement/src/kumquatmux_placement/settings.py
+++ b/libs/placement/src/kumquatmux_placement/settings.py
@@ -14,7 +14,7 @@
         zone: Availability zone of this VM; empty for no preference.
         revision: Settings revision, for the decision log.
         hold_ms: How long work without a free slot is held before it is refused.
-        standing_queue_hold_ms: How long it is held while the queue is a standing queue.
+        crest_hold_ms: How long it is held while the queue is a standing queue.
         standing_queue_after_ms: A queue that is not empty for this time is a standing
             queue.
         queue_limit: Maximum number of work items held for one service.
@@ -26,7 +26,7 @@
         shed_backoff_ms: First pause in placement after a server shed work.
         shed_backoff_limit_ms: Longest such pause.
         link_cost_ms: Time that using a server in another availability zone costs.
-        early_slot_reuse: Whether a slot in another availability zone is given to new
+        bind_ahead: Whether a slot in another availability zone is given to new
             work while its answer is expected to be on the way.
         reserve_ms: How long work that was placed but has not started keeps its slot.
         stuck_ms: How long started but unanswered work keeps its slot.
@@ -46,7 +46,7 @@
     zone: ZoneName = ZoneName("")
     revision: int = 0
     hold_ms: float = 1000.0
-    standing_queue_hold_ms: float = 400.0
+    crest_hold_ms: float = 400.0
     standing_queue_after_ms: float = 1000.0
     queue_limit: int = 1000
     long_ms: float = 200.0
@@ -56,7 +56,7 @@
     shed_backoff_ms: float = 100.0
     shed_backoff_limit_ms: float = 5000.0
     link_cost_ms: float = 10.0
-    early_slot_reuse: bool = True
+    bind_ahead: bool = True
     reserve_ms: float = 1000.0
     stuck_ms: float = 60_000.0
     assumed_short_run_ms: float = 200.0
--- a/libs/placement/src/kumquatmux_placement/waiting.py
+++ b/libs/placement/src/kumquatmux_placement/waiting.py
@@ -92,16 +92,13 @@
     def max_hold_s(self, now: float) -> float:
         """Return the longest time for which work is held now, in seconds."""
         if now >= self.nonempty_since + self.settings.standing_queue_after_ms / 1000.0:
-            return (
-                min(self.settings.standing_queue_hold_ms, self.settings.hold_ms)
-                / 1000.0
-            )
+            return min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
         return self.settings.hold_ms / 1000.0
 
     def next_deadline(self) -> float:
         """Return when queued work may next be refused, in seconds."""
         standing_hold_s = (
-            min(self.settings.standing_queue_hold_ms, self.settings.hold_ms) / 1000.0
+            min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
         )
         standing_from = (
             self.nonempty_since + self.settings.standing_queue_after_ms / 1000.0
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -86,7 +86,7 @@
 def test_work_in_a_standing_queue_is_held_for_less_time():
     settings = {
         "hold_ms": 1000.0,
-        "standing_queue_hold_ms": 200.0,
+        "crest_hold_ms": 200.0,
         "standing_queue_after_ms": 600.0,
     }
     admission = make_admission(**settings, reserve_ms=60_000.0)
@@ -284,7 +284,7 @@
 
 
 @pytest.mark.parametrize(
-    ("early_slot_reuse", "age_s", "placed"),
+    ("bind_ahead", "age_s", "placed"),
     [
         (True, 0.005, False),
         (True, 0.02, True),
@@ -293,12 +293,10 @@
     ],
 )
 def test_only_a_remote_slot_about_to_be_released_is_reused_early(
-    early_slot_reuse, age_s, placed
+    bind_ahead, age_s, placed
 ):
     remote_server = make_server(2, zone=ZoneName("lpg-a"))
-    admission = make_admission(
-        remote_server, early_slot_reuse=early_slot_reuse, **ZONE_SETTINGS
-    )
+    admission = make_admission(remote_server, bind_ahead=bind_ahead, **ZONE_SETTINGS)
     admission.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     admission.handle(Submit(make_work(b"a")), 0.0)
     admission.handle(Started(b"a", remote_server.server), 0.0)
@@ -338,7 +336,7 @@
 def test_a_tick_at_the_next_deadline_moves_the_deadline_forward(number):
     start_s = random.Random(number).uniform(0.0, 1000.0)
     settings = {
-        "standing_queue_hold_ms": 100.0,
+        "crest_hold_ms": 100.0,
         "standing_queue_after_ms": 1000.0,
         "hold_ms": 5000.0,
     }
