--- a/libs/placement/src/kumquatmux_placement/waiting.py
+++ b/libs/placement/src/kumquatmux_placement/waiting.py
@@ -1,4 +1,4 @@
-"""Work that is held until a slot frees."""
+"""Queue of work that waits for a free slot."""
 
 from __future__ import annotations
 
@@ -10,121 +10,147 @@
 from kumquatmux_placement.settings import PlacementSettings
 
 
-class Waiting(NamedTuple):
-    """One held piece of work.
+class QueuedWork(NamedTuple):
+    """Work item that waits for a free slot.
 
     Attributes:
-        work: The work.
-        size: Its expected size.
-        since: When it was first held, in seconds.
-        until: When it is refused, in seconds.
+        work: The work item.
+        run_time_class: Its expected run-time class.
+        queued_at: When it was queued, in seconds.
+        expires_at: When it is refused if it was not placed, in seconds.
     """
 
     work: Work
-    size: SizeClass
-    since: float
-    until: float
+    run_time_class: SizeClass
+    queued_at: float
+    expires_at: float
 
 
-class WaitingLine:
-    """The held work of one service, by expected size and then by arrival.
+class WaitQueue:
+    """Queued work of one service: long work last, otherwise in order of arrival.
 
-    A line that has not been empty for a while stands: demand is above what the
-    servers can do, and waiting longer helps nobody. Then work is held for less time.
+    A queue that has not been empty for ``standing_queue_after_ms`` is a standing queue:
+    demand exceeds the capacity of the servers, and a longer wait does not help. Work is
+    then held for a shorter time.
 
     Attributes:
-        short: Held work that goes first, in order of arrival.
-        long: Held work known as long, in order of arrival.
-        deadlines: Deadlines in order, with those of some work that is gone.
-        standing_since: When the line was last empty, in seconds; infinite if it is.
+        settings: Placement settings.
+        short_queue: Work not expected to be long, in order of arrival; served first.
+        long_queue: Work expected to be long, in order of arrival.
+        expiry_heap: Heap of expiry times and work ids, some of work already removed.
+        nonempty_since: When the queue became nonempty, in seconds; infinite if empty.
     """
 
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
-        self.standing_since = float("inf")
-        self.short: OrderedDict[bytes, Waiting] = OrderedDict()
-        self.long: OrderedDict[bytes, Waiting] = OrderedDict()
-        self.deadlines: list[tuple[float, bytes]] = []
+        self.nonempty_since = float("inf")
+        self.short_queue: OrderedDict[bytes, QueuedWork] = OrderedDict()
+        self.long_queue: OrderedDict[bytes, QueuedWork] = OrderedDict()
+        self.expiry_heap: list[tuple[float, bytes]] = []
 
     def __len__(self) -> int:
-        return len(self.short) + len(self.long)
-
-    def lines(self) -> tuple[OrderedDict[bytes, Waiting], ...]:
-        """Return the held work by line, the one that goes first in front."""
-        return self.short, self.long
-
-    def get(self, work_id: bytes) -> Waiting | None:
-        """Return the held work of that name, if any."""
-        return self.short.get(work_id) or self.long.get(work_id)
-
-    def add(self, waiting: Waiting) -> None:
-        """Put work at the end of its line."""
-        self.standing_since = min(self.standing_since, waiting.since)
-        line = self.long if waiting.size is SizeClass.LONG else self.short
-        line[waiting.work.work_id] = waiting
-        heapq.heappush(self.deadlines, (waiting.until, waiting.work.work_id))
-
-    def remove(self, work_id: bytes) -> Waiting | None:
-        """Take work out and return it, if it was held."""
-        waiting = self.short.pop(work_id, None) or self.long.pop(work_id, None)
+        return len(self.short_queue) + len(self.long_queue)
+
+    def queues(self) -> tuple[OrderedDict[bytes, QueuedWork], ...]:
+        """Return the queues in the order in which they are served."""
+        return self.short_queue, self.long_queue
+
+    def get(self, work_id: bytes) -> QueuedWork | None:
+        """Return the queued work with this id, if any."""
+        return self.short_queue.get(work_id) or self.long_queue.get(work_id)
+
+    def enqueue(self, queued: QueuedWork) -> None:
+        """Append work to its queue."""
+        self.nonempty_since = min(self.nonempty_since, queued.queued_at)
+        queue = (
+            self.long_queue
+            if queued.run_time_class is SizeClass.LONG
+            else self.short_queue
+        )
+        queue[queued.work.work_id] = queued
+        heapq.heappush(self.expiry_heap, (queued.expires_at, queued.work.work_id))
+
+    def remove(self, work_id: bytes) -> QueuedWork | None:
+        """Remove work and return it, if it was queued."""
+        removed = self.short_queue.pop(work_id, None) or self.long_queue.pop(
+            work_id, None
+        )
         if not self:
-            self.standing_since = float("inf")
-        if waiting is not None and len(self.deadlines) > 2 * len(self) + 16:
-            self.compact()
-        return waiting
-
-    def compact(self) -> None:
-        """Drop the deadlines of work that is gone."""
-        held = [*self.short.values(), *self.long.values()]
-        self.deadlines = [(waiting.until, waiting.work.work_id) for waiting in held]
-        heapq.heapify(self.deadlines)
-
-    def hold_s(self, now: float) -> float:
-        """Return for how long work is held at most at a time, in seconds."""
-        if now >= self.standing_since + self.settings.crest_after_ms / 1000.0:
-            return min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
+            self.nonempty_since = float("inf")
+        if removed is not None and len(self.expiry_heap) > 2 * len(self) + 16:
+            self.compact_expiry_heap()
+        return removed
+
+    def compact_expiry_heap(self) -> None:
+        """Drop the expiry times of removed work."""
+        queued_work = [*self.short_queue.values(), *self.long_queue.values()]
+        self.expiry_heap = [
+            (queued.expires_at, queued.work.work_id) for queued in queued_work
+        ]
+        heapq.heapify(self.expiry_heap)
+
+    def max_hold_s(self, now: float) -> float:
+        """Return the longest time for which work is held now, in seconds."""
+        if now >= self.nonempty_since + self.settings.standing_queue_after_ms / 1000.0:
+            return (
+                min(self.settings.standing_queue_hold_ms, self.settings.hold_ms)
+                / 1000.0
+            )
         return self.settings.hold_ms / 1000.0
 
     def next_deadline(self) -> float:
-        """Return when held work may next be refused, in seconds."""
-        crest_s = min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
-        crest_from = self.standing_since + self.settings.crest_after_ms / 1000.0
-        oldest = min((first.since for first in self.firsts()), default=float("inf"))
-        return min(self.next_own_deadline(), max(oldest + crest_s, crest_from))
-
-    def firsts(self) -> list[Waiting]:
-        """Return the oldest work of each line."""
-        return [next(iter(line.values())) for line in self.lines() if line]
-
-    def next_own_deadline(self) -> float:
-        """Return the first deadline of held work, infinite without any."""
-        while self.deadlines:
-            until, work_id = self.deadlines[0]
-            waiting = self.get(work_id)
-            if waiting is not None and waiting.until == until:
-                return until
-            heapq.heappop(self.deadlines)
+        """Return when queued work may next be refused, in seconds."""
+        standing_hold_s = (
+            min(self.settings.standing_queue_hold_ms, self.settings.hold_ms) / 1000.0
+        )
+        standing_from = (
+            self.nonempty_since + self.settings.standing_queue_after_ms / 1000.0
+        )
+        oldest_queued_at = min(
+            (head.queued_at for head in self.queue_heads()), default=float("inf")
+        )
+        return min(
+            self.next_expiry(),
+            max(oldest_queued_at + standing_hold_s, standing_from),
+        )
+
+    def queue_heads(self) -> list[QueuedWork]:
+        """Return the oldest work of each nonempty queue."""
+        return [next(iter(queue.values())) for queue in self.queues() if queue]
+
+    def next_expiry(self) -> float:
+        """Return the first expiry time of queued work; infinite if there is none."""
+        while self.expiry_heap:
+            expires_at, work_id = self.expiry_heap[0]
+            queued = self.get(work_id)
+            if queued is not None and queued.expires_at == expires_at:
+                return expires_at
+            heapq.heappop(self.expiry_heap)
         return float("inf")
 
-    def expired(self, now: float) -> list[Waiting]:
-        """Take out and return the work whose deadline has come."""
-        gone: list[Waiting] = []
-        while self.next_own_deadline() <= now:
-            waiting = self.remove(self.deadlines[0][1])
-            if waiting is not None:
-                gone.append(waiting)
-        return [*gone, *self.crested(now)]
-
-    def crested(self, now: float) -> list[Waiting]:
-        """Take out and return the work held too long for a standing line."""
-        gone: list[Waiting] = []
-        hold_s = self.hold_s(now)
-        for waiting in self.firsts():
-            while waiting.since + hold_s <= now:
-                self.remove(waiting.work.work_id)
-                gone.append(waiting)
-                line = self.long if waiting.size is SizeClass.LONG else self.short
-                if not line:
+    def remove_expired(self, now: float) -> list[QueuedWork]:
+        """Remove and return the work that has expired or was held too long."""
+        removed: list[QueuedWork] = []
+        while self.next_expiry() <= now:
+            queued = self.remove(self.expiry_heap[0][1])
+            if queued is not None:
+                removed.append(queued)
+        return [*removed, *self.remove_held_too_long(now)]
+
+    def remove_held_too_long(self, now: float) -> list[QueuedWork]:
+        """Remove and return the work held for ``max_hold_s`` or longer."""
+        removed: list[QueuedWork] = []
+        hold_s = self.max_hold_s(now)
+        for queued in self.queue_heads():
+            while queued.queued_at + hold_s <= now:
+                self.remove(queued.work.work_id)
+                removed.append(queued)
+                queue = (
+                    self.long_queue
+                    if queued.run_time_class is SizeClass.LONG
+                    else self.short_queue
+                )
+                if not queue:
                     break
-                waiting = next(iter(line.values()))
-        return gone
+                queued = next(iter(queue.values()))
+        return removed
--- a/libs/placement/tests/test_admission.py
+++ b/libs/placement/tests/test_admission.py
@@ -84,7 +84,11 @@
 
 
 def test_a_standing_line_is_held_for_less_time():
-    settings = {"hold_ms": 1000.0, "crest_hold_ms": 200.0, "crest_after_ms": 600.0}
+    settings = {
+        "hold_ms": 1000.0,
+        "standing_queue_hold_ms": 200.0,
+        "standing_queue_after_ms": 600.0,
+    }
     made = admission(**settings, reserve_ms=60_000.0)
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Submit(work(b"b")), 0.1)
@@ -109,17 +113,17 @@
     [placed] = made.handle(Submit(work(b"a")), 0.0)
     made.handle(Closed(b"a", placed.server), 0.5)
     made.handle(LoadReported(placed.server, busy, 0, age), 1.0)
-    assert (made.servers[placed.server].suspected_until > 1.0) is suspected
-    assert made.servers[placed.server].taken == 0
+    assert (made.load_by_server[placed.server].reported_busier_until > 1.0) is suspected
+    assert made.load_by_server[placed.server].slots_in_use == 0
 
 
 def test_a_server_slower_than_the_service_is_used_last():
     made = admission(server(1), server(2), server(3))
-    slow = made.servers[server(1).server]
-    for name in made.servers.values():
-        name.mean_s = 0.02
-    made.pools[SERVICE].history.mean_s = 0.02
-    slow.mean_s = 0.04
+    slow = made.load_by_server[server(1).server]
+    for name in made.load_by_server.values():
+        name.mean_short_run_s = 0.02
+    made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
+    slow.mean_short_run_s = 0.04
     servers = [
         made.handle(Submit(work(bytes([number]))), 0.0)[0].server for number in range(3)
     ]
@@ -146,7 +150,7 @@
     ("age_s", "free_at"), [(0.0, 10.2), (0.15, 10.05), (0.5, 10.0)]
 )
 def test_a_restored_slot_frees_by_the_age_of_the_digest(age_s, free_at):
-    made = admission(assumed_ms=200.0)
+    made = admission(assumed_short_run_ms=200.0)
     digest = (SlotDigest(server().server, busy=1, long=0, connections=1),)
     made.restore(digest, 10.0, age_s=age_s)
     [first] = made.handle(Submit(work(b"a")), 10.0)
@@ -179,7 +183,7 @@
     for name in (b"x", b"y"):
         [placed] = made.handle(Submit(work(name)), 0.0)
     for name, flow in list(made.flows.items()):
-        made.handle(Closed(name, flow.load.server.server), 0.0)
+        made.handle(Closed(name, flow.server_load.server.server), 0.0)
     outcomes = [
         made.handle(Submit(work(bytes([number]), size=SizeClass.LONG)), 0.0)[0]
         for number in range(3)
@@ -194,9 +198,9 @@
     [placed] = made.handle(Submit(work(b"a", caller="printer")), 0.0)
     made.handle(Started(b"a", placed.server), 0.0)
     made.handle(Answered(b"a", placed.server), 0.9)
-    history = made.pools[SERVICE].history
-    assert history.expect(work(b"b", caller="printer")) is SizeClass.LONG
-    assert history.expect(work(b"c", caller="other")) is SizeClass.UNKNOWN
+    history = made.pools[SERVICE].run_time_history
+    assert history.expected_class(work(b"b", caller="printer")) is SizeClass.LONG
+    assert history.expected_class(work(b"c", caller="other")) is SizeClass.UNKNOWN
 
 
 def test_feeds_hold_a_connection_and_no_slot():
@@ -207,7 +211,10 @@
         made.handle(Started(work_id, placed.server), float(number))
         made.handle(Answered(work_id, placed.server), number + 0.01)
     [refused] = made.handle(Submit(work(b"c")), 3.0)
-    assert (refused.reason, made.servers[placed.server].taken) == ("no-server", 0)
+    assert (refused.reason, made.load_by_server[placed.server].slots_in_use) == (
+        "no-server",
+        0,
+    )
 
 
 def test_later_work_on_a_bound_flow_takes_a_slot_beyond_the_servers():
@@ -217,7 +224,7 @@
     made.handle(Answered(b"a", placed.server), 0.1)
     made.handle(Submit(work(b"b")), 0.2)
     made.handle(Started(b"a", placed.server), 0.3)
-    assert made.servers[placed.server].taken == 2
+    assert made.load_by_server[placed.server].slots_in_use == 2
     assert isinstance(made.handle(Submit(work(b"c")), 0.4)[0], Held)
     assert made.handle(Answered(b"a", placed.server), 0.5) == []
 
@@ -258,7 +265,7 @@
 
 
 @pytest.mark.parametrize(
-    ("bind_ahead", "age_s", "placed"),
+    ("early_slot_reuse", "age_s", "placed"),
     [
         (True, 0.005, False),
         (True, 0.02, True),
@@ -266,10 +273,12 @@
         (False, 0.02, False),
     ],
 )
-def test_only_a_far_slot_about_to_be_answered_is_given_again(bind_ahead, age_s, placed):
+def test_only_a_far_slot_about_to_be_answered_is_given_again(
+    early_slot_reuse, age_s, placed
+):
     far = server(2, zone=ZoneName("lpg-a"))
-    made = admission(far, bind_ahead=bind_ahead, **ZONED)
-    made.pools[SERVICE].history.mean_s = 0.02
+    made = admission(far, early_slot_reuse=early_slot_reuse, **ZONED)
+    made.pools[SERVICE].run_time_history.mean_short_run_s = 0.02
     made.handle(Submit(work(b"a")), 0.0)
     made.handle(Started(b"a", far.server), 0.0)
     [outcome] = made.handle(Submit(work(b"b")), age_s)
@@ -305,7 +314,11 @@
 @pytest.mark.parametrize("number", range(200))
 def test_a_tick_at_the_next_deadline_never_leaves_it_due(number):
     started = random.Random(number).uniform(0.0, 1000.0)
-    settings = {"crest_hold_ms": 100.0, "crest_after_ms": 1000.0, "hold_ms": 5000.0}
+    settings = {
+        "standing_queue_hold_ms": 100.0,
+        "standing_queue_after_ms": 1000.0,
+        "hold_ms": 5000.0,
+    }
     made = admission(**settings, reserve_ms=60_000.0)
     made.handle(Submit(work(b"a")), started)
     made.handle(Submit(work(b"b")), started)
--- a/libs/placement/tests/test_admission_machine.py
+++ b/libs/placement/tests/test_admission_machine.py
@@ -43,9 +43,9 @@
     Unknown,
     Work,
 )
-from kumquatmux_placement.memory import EndedWork
+from kumquatmux_placement.memory import RecentWorkIds
 from kumquatmux_placement.settings import PlacementSettings
-from kumquatmux_placement.waiting import WaitingLine
+from kumquatmux_placement.waiting import WaitQueue
 
 SERVICE = ServiceName("entries")
 NAMES = [ServerId(f"127.0.0.{number}:9000") for number in (1, 2, 3)]
@@ -55,8 +55,8 @@
     queue_limit=6,
     reserve_ms=FOREVER_MS,
     stuck_ms=FOREVER_MS,
-    remembered_work=8,
-    history_callers=3,
+    ended_work_limit=8,
+    history_caller_limit=3,
 )
 RUN = hypothesis_settings(max_examples=40, stateful_step_count=40)
 BREAK = hypothesis_settings(
@@ -134,7 +134,7 @@
     @precondition(lambda self: self.count)
     @rule(data=st.data())
     def submit_again(self, data):
-        oldest = max(self.count - SETTINGS.remembered_work // 2 + 1, 1)
+        oldest = max(self.count - SETTINGS.ended_work_limit // 2 + 1, 1)
         number = data.draw(st.integers(oldest, self.count))
         work_id = number.to_bytes(2)
         repeatable = self.repeatable[work_id]
@@ -168,7 +168,7 @@
     @rule(name=st.sampled_from(NAMES), number=st.integers(60_000, 60_003))
     def adopt(self, name, number):
         work_id = number.to_bytes(2)
-        if work_id not in self.open and name in self.made.servers:
+        if work_id not in self.open and name in self.made.load_by_server:
             self.repeatable[work_id] = False
             self.open[work_id] = name
             self.tell(Adopted(work_id, SERVICE, name))
@@ -207,14 +207,19 @@
 
     @invariant()
     def memory_is_bounded(self):
-        pool = self.made.pool(SERVICE)
+        pool = self.made.pool_for(SERVICE)
         assert set(self.made.flows) == set(self.open)
         assert len(pool.line) == len(self.pending) <= SETTINGS.queue_limit
-        assert len(pool.line.deadlines) <= 2 * len(pool.line) + 17
-        assert len(pool.history.shares) <= SETTINGS.history_callers
-        assert len(self.made.lost.ended) <= SETTINGS.remembered_work
-        assert len(self.made.refused.ended) <= SETTINGS.remembered_work
-        connections = sum(load.connections for load in self.made.servers.values())
+        assert len(pool.line.expiry_heap) <= 2 * len(pool.line) + 17
+        assert (
+            len(pool.run_time_history.long_share_by_caller)
+            <= SETTINGS.history_caller_limit
+        )
+        assert len(self.made.unknown_outcomes.ended_at) <= SETTINGS.ended_work_limit
+        assert len(self.made.recently_refused.ended_at) <= SETTINGS.ended_work_limit
+        connections = sum(
+            load.open_connections for load in self.made.load_by_server.values()
+        )
         assert connections <= len(self.open)
 
 
@@ -230,30 +235,30 @@
 
 
 def _overcommits(monkeypatch):
-    monkeypatch.setattr(ServerLoad, "taken", property(lambda load: 0))
+    monkeypatch.setattr(ServerLoad, "slots_in_use", property(lambda load: 0))
 
 
 def _places_anywhere(monkeypatch):
-    monkeypatch.setattr(ServerLoad, "is_open", lambda load, now: True)
+    monkeypatch.setattr(ServerLoad, "accepts_new_work", lambda load, now: True)
 
 
 def _never_refuses(monkeypatch):
-    monkeypatch.setattr(WaitingLine, "expired", lambda line, now: [])
+    monkeypatch.setattr(WaitQueue, "remove_expired", lambda line, now: [])
 
 
 def _forgets_submitted(monkeypatch):
-    monkeypatch.setattr(Admission, "answer_again", lambda made, work, pool: None)
+    monkeypatch.setattr(Admission, "repeat_outcome", lambda made, work, pool: None)
 
 
 def _forgets_lost(monkeypatch):
-    monkeypatch.setattr(EndedWork, "holds", lambda ended, work_id, now: False)
+    monkeypatch.setattr(RecentWorkIds, "contains", lambda ended, work_id, now: False)
 
 
 def _remembers_all(monkeypatch):
     def add(ended, work_id, now):
-        ended.ended[work_id] = now
+        ended.ended_at[work_id] = now
 
-    monkeypatch.setattr(EndedWork, "add", add)
+    monkeypatch.setattr(RecentWorkIds, "add", add)
 
 
 @pytest.mark.parametrize(
@@ -264,7 +269,7 @@
         (_never_refuses, "held beyond|changes nothing"),
         (_forgets_submitted, "placed twice|placed again|called not run"),
         (_forgets_lost, "placed again|called not run"),
-        (_remembers_all, "remembered_work|assert"),
+        (_remembers_all, "ended_work_limit|assert"),
     ],
 )
 def test_each_promise_fails_when_broken(monkeypatch, mutate, message):
