--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -1,13 +1,17 @@
-"""What a leader does: entries out, acknowledgements in, membership one step on."""
+"""Leader operations: replication, requests, commits and membership changes."""
 
 from __future__ import annotations
 
 from kumquatmux_agreement.core import ReplicaCore
 from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, ReplicaId
 from kumquatmux_agreement.events import Outcome, Reply, Role
-from kumquatmux_agreement.leadership import Leadership, PendingRead, Progress
+from kumquatmux_agreement.leadership import (
+    LeaderState,
+    PendingRead,
+    ReplicationProgress,
+)
 from kumquatmux_agreement.membership import (
-    ALLOWED_SIZES,
+    ALLOWED_VM_COUNTS,
     MembershipView,
     has_live_quorum,
     next_configuration,
@@ -16,17 +20,17 @@
     AppendReply,
     SnapshotReply,
 )
-from kumquatmux_agreement.sending import send_next
+from kumquatmux_agreement.replication import send_next_message
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_core.problems import Problem
 
 
 def become_leader(core: ReplicaCore) -> None:
-    """Begin to lead: an entry of the own term first."""
+    """Start to lead by appending an empty entry of the current term."""
     core.election = None
-    core.leadership = Leadership(core.settings, core.log, core.clock, core.now)
-    core.set_role(Role.LEADER, core.me)
+    core.leadership = LeaderState(core.settings, core.log, core.clock, core.now)
+    core.set_role(Role.LEADER, core.replica_id)
     append_entry(core, EntryKind.EMPTY)
     broadcast(core)
 
@@ -38,215 +42,256 @@
     data: bytes = b"",
     configuration: Configuration | None = None,
 ) -> int:
-    """Append an entry of the own term and return its index."""
+    """Append an entry of the current term and return its index."""
     index = core.log.last_index + 1
     core.append((Entry(index, core.term, kind, data, configuration),))
     return index
 
 
-def propose(core: ReplicaCore, leadership: Leadership, data: bytes, token: str) -> None:
-    """Put bytes into the log, or refuse before they enter it."""
-    problem = _refusal(core, leadership, data)
+def propose(
+    core: ReplicaCore, leader_state: LeaderState, data: bytes, token: str
+) -> None:
+    """Append data to the log, or refuse the request."""
+    problem = _proposal_problem(core, leader_state, data)
     if problem is not None:
-        core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
     index = append_entry(core, EntryKind.DATA, data=data)
-    leadership.pending[index] = token
-    send_entries(core, leadership)
+    leader_state.pending_proposals[index] = token
+    send_entries(core, leader_state)
 
 
-def read(core: ReplicaCore, leadership: Leadership, token: str) -> None:
-    """Answer a read at once under the lease, else after a round."""
-    if core.commit < leadership.first_index:
-        problem = Problem("not-ready", "the leader has not committed an entry yet")
-        core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+def answer_read(core: ReplicaCore, leader_state: LeaderState, token: str) -> None:
+    """Answer a read at once under the lease, else after a quorum has replied."""
+    if core.commit < leader_state.first_index:
+        problem = Problem(
+            "not-ready", "the leader has not committed an entry of its term yet"
+        )
+        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
-    if leadership.lease_until(core.log.configuration, core.now) > core.now:
-        core.out.append(Reply(token, Outcome.CURRENT, core.commit, None, core.me))
+    if leader_state.lease_expires_at(core.log.configuration, core.now) > core.now:
+        core.actions.append(
+            Reply(token, Outcome.CURRENT, core.commit, None, core.replica_id)
+        )
         return
-    leadership.reads.append(PendingRead(token, leadership.round + 1))
+    leader_state.pending_reads.append(PendingRead(token, leader_state.round + 1))
     broadcast(core)
-    answer_reads(core, leadership)
+    answer_confirmed_reads(core, leader_state)
 
 
 def change_membership(
-    core: ReplicaCore, leadership: Leadership, vms: tuple[VmId, ...], token: str
+    core: ReplicaCore, leader_state: LeaderState, vms: tuple[VmId, ...], token: str
 ) -> None:
-    """Put the wanted VMs into the log; the steps follow one at a time."""
-    current = core.log.configuration
-    wanted = current._replace(vms=tuple(sorted(set(vms))))
+    """Append the new set of control VMs to the log, or refuse the request.
+
+    The members are then changed one at a time by ``tick``.
+    """
+    current_configuration = core.log.configuration
+    new_configuration = current_configuration._replace(vms=tuple(sorted(set(vms))))
     problem = None
-    if len(wanted.vms) not in ALLOWED_SIZES or len(vms) != len(wanted.vms):
-        detail = f"{len(vms)} control VMs named, 1, 3 or 5 different ones allowed"
+    if len(new_configuration.vms) not in ALLOWED_VM_COUNTS or len(vms) != len(
+        new_configuration.vms
+    ):
+        detail = f"{len(vms)} control VMs requested; 1, 3 or 5 distinct ones required"
         problem = Problem("membership-size", detail)
-    elif not _may_change(core, leadership):
-        problem = Problem("membership-busy", "another membership change is under way")
-    elif not has_live_quorum(wanted, leadership.live(core.clock)):
-        problem = Problem("membership-quorum", "too few of the voters answer")
+    elif not _can_change_membership(core, leader_state):
+        problem = Problem("membership-busy", "another membership change is in progress")
+    elif not has_live_quorum(new_configuration, leader_state.live_members(core.clock)):
+        problem = Problem("membership-quorum", "too few of the voters are live")
     if problem is not None:
-        core.out.append(Reply(token, Outcome.REFUSED, 0, problem, core.me))
+        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
         return
-    index = append_entry(core, EntryKind.CONFIGURATION, configuration=wanted)
-    leadership.pending[index] = token
-    send_entries(core, leadership)
-
-
-def tick(core: ReplicaCore, leadership: Leadership) -> None:
-    """Step down without a quorum, send heartbeats, move membership on."""
-    live = leadership.live(core.clock)
-    has_grace = core.clock - leadership.since < core.settings.election_timeout_s
-    if not has_grace and not has_live_quorum(core.log.configuration, live):
-        core.stop_leading("no quorum answers")
-        core.set_role(core.idle_role(), None)
+    index = append_entry(core, EntryKind.CONFIGURATION, configuration=new_configuration)
+    leader_state.pending_proposals[index] = token
+    send_entries(core, leader_state)
+
+
+def tick(core: ReplicaCore, leader_state: LeaderState) -> None:
+    """Step down without a live quorum; else send heartbeats and advance membership."""
+    live_members = leader_state.live_members(core.clock)
+    is_in_grace_period = (
+        core.clock - leader_state.leading_since < core.settings.election_timeout_s
+    )
+    if not is_in_grace_period and not has_live_quorum(
+        core.log.configuration, live_members
+    ):
+        core.step_down("no quorum of voters is live")
+        core.set_role(core.passive_role(), None)
         return
-    if core.clock >= leadership.heartbeat_at:
+    if core.clock >= leader_state.next_heartbeat_at:
         broadcast(core)
-    if _may_change(core, leadership):
-        _move_membership(core, leadership)
+    if _can_change_membership(core, leader_state):
+        _advance_membership(core, leader_state)
 
 
 def broadcast(core: ReplicaCore) -> None:
-    """Begin a round and send every member what it lacks, or a heartbeat."""
-    leadership = core.leadership
-    if leadership is None:
+    """Start a round and send each member its missing entries or a heartbeat."""
+    leader_state = core.leadership
+    if leader_state is None:
         return
-    leadership.begin_round(core.now)
-    leadership.heartbeat_at = core.clock + core.settings.heartbeat_s
-    for member, progress in leadership.progress.items():
-        progress.next = max(progress.match + 1, min(progress.next, _resend(progress)))
-        send_next(core, leadership, member, progress)
-
-
-def send_entries(core: ReplicaCore, leadership: Leadership) -> None:
-    """Send members the entries they lack, as far as the window allows."""
-    for member, progress in leadership.progress.items():
-        has_more = progress.next <= core.log.last_index
-        if has_more and progress.snapshot is None and _has_window(core, progress):
-            send_next(core, leadership, member, progress)
-
-
-def append_answered(core: ReplicaCore, message: AppendReply) -> None:
-    """Take an acknowledgement."""
-    leadership = core.leadership
-    if leadership is None or message.term != core.term:
+    leader_state.begin_round(core.now)
+    leader_state.next_heartbeat_at = core.clock + core.settings.heartbeat_s
+    for member, progress in leader_state.progress.items():
+        progress.next_index = max(
+            progress.match_index + 1, min(progress.next_index, _resend_index(progress))
+        )
+        send_next_message(core, leader_state, member, progress)
+
+
+def send_entries(core: ReplicaCore, leader_state: LeaderState) -> None:
+    """Send the members their missing entries within the send window."""
+    for member, progress in leader_state.progress.items():
+        has_unsent_entries = progress.next_index <= core.log.last_index
+        if (
+            has_unsent_entries
+            and progress.snapshot is None
+            and _has_window_space(core, progress)
+        ):
+            send_next_message(core, leader_state, member, progress)
+
+
+def handle_append_reply(core: ReplicaCore, message: AppendReply) -> None:
+    """Process a member's acknowledgement or rejection of entries."""
+    leader_state = core.leadership
+    if leader_state is None or message.term != core.term:
         return
     sender = message.sender
-    progress = leadership.answered(sender, message.round, core.clock)
+    progress = leader_state.record_reply(sender, message.round, core.clock)
     if progress is None:
         return
     if message.is_matched:
         progress.snapshot = None
-        progress.match = max(progress.match, message.log_index)
-        progress.next = max(progress.next, progress.match + 1)
+        progress.match_index = max(progress.match_index, message.log_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
         advance_commit(core)
     else:
-        hint = min(message.log_index, core.log.last_index + 1)
-        if message.round >= progress.round:
-            _note_lost_entries(progress, sender, hint)
-        progress.next = max(progress.match + 1, hint)
-        send_next(core, leadership, sender, progress)
-    if core.leadership is not leadership:
+        retry_index = min(message.log_index, core.log.last_index + 1)
+        if message.round >= progress.acknowledged_round:
+            _lower_match_index(progress, sender, retry_index)
+        progress.next_index = max(progress.match_index + 1, retry_index)
+        send_next_message(core, leader_state, sender, progress)
+    if core.leadership is not leader_state:
         return
-    answer_reads(core, leadership)
-    has_more = progress.next <= core.log.last_index
-    if message.is_matched and has_more and _has_window(core, progress):
-        send_next(core, leadership, sender, progress)
+    answer_confirmed_reads(core, leader_state)
+    has_unsent_entries = progress.next_index <= core.log.last_index
+    if message.is_matched and has_unsent_entries and _has_window_space(core, progress):
+        send_next_message(core, leader_state, sender, progress)
 
 
-def snapshot_answered(core: ReplicaCore, message: SnapshotReply) -> None:
-    """Send the next part of a snapshot."""
-    leadership = core.leadership
-    if leadership is None or message.term != core.term:
+def handle_snapshot_reply(core: ReplicaCore, message: SnapshotReply) -> None:
+    """Send the next chunk of a snapshot."""
+    leader_state = core.leadership
+    if leader_state is None or message.term != core.term:
         return
-    progress = leadership.answered(message.sender, message.round, core.clock)
+    progress = leader_state.record_reply(message.sender, message.round, core.clock)
     if progress is None or progress.snapshot is None:
         return
     if progress.snapshot.log_index != message.log_index:
         return
-    has_moved = message.received != progress.received
-    progress.received = message.received
-    answer_reads(core, leadership)
-    if has_moved:
-        send_next(core, leadership, message.sender, progress)
+    has_progressed = message.received_bytes != progress.received_bytes
+    progress.received_bytes = message.received_bytes
+    answer_confirmed_reads(core, leader_state)
+    if has_progressed:
+        send_next_message(core, leader_state, message.sender, progress)
 
 
 def advance_commit(core: ReplicaCore) -> None:
-    """Commit what a quorum has synced, if it is of the own term."""
-    leadership = core.leadership
-    if leadership is None:
+    """Commit the entries that a quorum has persisted, if of the current term."""
+    leader_state = core.leadership
+    if leader_state is None:
         return
-    index = leadership.matched(core.log.configuration, core.synced)
-    if index <= core.commit or core.log.term_at(index) != core.term:
+    quorum_index = leader_state.quorum_match_index(
+        core.log.configuration, core.persisted_index
+    )
+    if quorum_index <= core.commit or core.log.term_at(quorum_index) != core.term:
         return
-    core.commit_up_to(index)
-    if core.log.configuration_index <= index:
-        if core.me not in core.log.configuration.voters:
-            core.stop_leading("it is no longer a voter")
-            core.set_role(core.idle_role(), None)
+    core.commit_up_to(quorum_index)
+    if core.log.configuration_index <= quorum_index:
+        if core.replica_id not in core.log.configuration.voters:
+            core.step_down("the replica is no longer a voter")
+            core.set_role(core.passive_role(), None)
             return
-    for member, progress in leadership.progress.items():
-        is_behind = progress.told_commit < core.commit <= progress.match
-        if is_behind:
-            send_next(core, leadership, member, progress)
+    for member, progress in leader_state.progress.items():
+        needs_commit_index = (
+            progress.sent_commit_index < core.commit <= progress.match_index
+        )
+        if needs_commit_index:
+            send_next_message(core, leader_state, member, progress)
 
 
-def answer_reads(core: ReplicaCore, leadership: Leadership) -> None:
-    """Answer the reads whose round a quorum has answered."""
-    if not leadership.reads:
+def answer_confirmed_reads(core: ReplicaCore, leader_state: LeaderState) -> None:
+    """Answer the pending reads whose round a quorum has replied to."""
+    if not leader_state.pending_reads:
         return
-    answered = leadership.answered_round(core.log.configuration)
-    waiting = leadership.reads
-    leadership.reads = [read for read in waiting if read.round > answered]
-    for pending in waiting:
-        if pending.round <= answered:
-            reply = Reply(pending.token, Outcome.CURRENT, core.commit, None, core.me)
-            core.out.append(reply)
-
-
-def _refusal(core: ReplicaCore, leadership: Leadership, data: bytes) -> Problem | None:
+    quorum_round = leader_state.quorum_round(core.log.configuration)
+    pending_reads = leader_state.pending_reads
+    leader_state.pending_reads = [
+        read for read in pending_reads if read.round > quorum_round
+    ]
+    for pending_read in pending_reads:
+        if pending_read.round <= quorum_round:
+            reply = Reply(
+                pending_read.token, Outcome.CURRENT, core.commit, None, core.replica_id
+            )
+            core.actions.append(reply)
+
+
+def _proposal_problem(
+    core: ReplicaCore, leader_state: LeaderState, data: bytes
+) -> Problem | None:
     if not core.log.configuration.is_ready:
-        voters = len(core.log.configuration.voters)
-        wanted = len(core.log.configuration.vms)
-        return Problem("too-few-voters", f"{voters} of {wanted} control VMs vote")
-    if len(data) > core.settings.entry_bytes:
-        return Problem("entry-too-long", f"an entry of {len(data)} bytes")
-    if len(leadership.pending) >= core.settings.pending_entries:
-        return Problem("too-many-pending", "too many entries wait to be committed")
+        voter_count = len(core.log.configuration.voters)
+        wanted_count = len(core.log.configuration.vms)
+        return Problem(
+            "too-few-voters", f"{voter_count} of {wanted_count} control VMs are voters"
+        )
+    if len(data) > core.settings.max_entry_bytes:
+        return Problem(
+            "entry-too-long", f"entry of {len(data)} bytes exceeds the limit"
+        )
+    if len(leader_state.pending_proposals) >= core.settings.max_pending_entries:
+        return Problem(
+            "too-many-pending", "too many proposals are waiting to be committed"
+        )
     return None
 
 
-def _may_change(core: ReplicaCore, leadership: Leadership) -> bool:
-    has_own = core.commit >= leadership.first_index
-    return has_own and core.commit >= core.log.configuration_index
+def _can_change_membership(core: ReplicaCore, leader_state: LeaderState) -> bool:
+    has_committed_in_term = core.commit >= leader_state.first_index
+    return has_committed_in_term and core.commit >= core.log.configuration_index
 
 
-def _move_membership(core: ReplicaCore, leadership: Leadership) -> None:
+def _advance_membership(core: ReplicaCore, leader_state: LeaderState) -> None:
     configuration = core.log.configuration
-    caught_up = frozenset(
+    caught_up_learners = frozenset(
         learner
         for learner in configuration.learners
-        if leadership.progress[learner].match >= core.commit
+        if leader_state.progress[learner].match_index >= core.commit
+    )
+    live_members = leader_state.live_members(core.clock)
+    join_requests = leader_state.recent_join_requests(core.clock)
+    view = MembershipView(
+        core.replica_id, join_requests, live_members, caught_up_learners
     )
-    live = leadership.live(core.clock)
-    joining = leadership.joining_lately(core.clock)
-    view = MembershipView(core.me, joining, live, caught_up)
-    following = next_configuration(configuration, view)
-    if following is not None:
-        append_entry(core, EntryKind.CONFIGURATION, configuration=following)
+    next_step = next_configuration(configuration, view)
+    if next_step is not None:
+        append_entry(core, EntryKind.CONFIGURATION, configuration=next_step)
         broadcast(core)
 
 
-def _has_window(core: ReplicaCore, progress: Progress) -> bool:
-    return progress.next <= progress.match + core.settings.window_entries
+def _has_window_space(core: ReplicaCore, progress: ReplicationProgress) -> bool:
+    return progress.next_index <= progress.match_index + core.settings.window_entries
 
 
-def _resend(progress: Progress) -> int:
-    """Return where to go on after a round without an acknowledgement."""
-    return progress.match + 1 if progress.match else progress.next
+def _resend_index(progress: ReplicationProgress) -> int:
+    """Return the next index to send after the latest messages were not acknowledged."""
+    return progress.match_index + 1 if progress.match_index else progress.next_index
 
 
-def _note_lost_entries(progress: Progress, member: ReplicaId, hint: int) -> None:
-    """Believe a member that no longer holds what it had acknowledged."""
-    if hint <= progress.match:
-        log_decision("agreement-entries-lost", member=member, after=hint - 1)
-        progress.match = hint - 1
+def _lower_match_index(
+    progress: ReplicationProgress, member: ReplicaId, retry_index: int
+) -> None:
+    """Lower the match index of a member that lost entries it had acknowledged."""
+    if retry_index <= progress.match_index:
+        log_decision("agreement-entries-lost", member=member, after=retry_index - 1)
+        progress.match_index = retry_index - 1
--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -6,126 +6,130 @@
 from kumquatmux_agreement.membership import MembershipView, next_configuration
 
 A, B, C, D, E = (ReplicaId(vm, "1") for vm in "abcde")
-C2 = ReplicaId("c", "2")
-ABC = ("a", "b", "c")
+C_REPLACEMENT = ReplicaId("c", "2")
+VMS_ABC = ("a", "b", "c")
 
 
-def view(live, joining=(), caught_up=()):
-    return MembershipView(A, joining, frozenset(live), frozenset(caught_up))
+def membership_view(live_members, join_requests=(), caught_up_learners=()):
+    return MembershipView(
+        A, join_requests, frozenset(live_members), frozenset(caught_up_learners)
+    )
 
 
-CASES = {
-    "nothing to do": (
-        Configuration(ABC, (A, B, C)),
-        view({A, B, C}),
+MEMBERSHIP_STEPS = {
+    "no change needed": (
+        Configuration(VMS_ABC, (A, B, C)),
+        membership_view({A, B, C}),
         None,
     ),
-    "a newcomer learns first": (
-        Configuration(ABC, (A,)),
-        view({A}, joining=(B,)),
-        Configuration(ABC, (A,), (B,)),
+    "joining replica becomes a learner": (
+        Configuration(VMS_ABC, (A,)),
+        membership_view({A}, join_requests=(B,)),
+        Configuration(VMS_ABC, (A,), (B,)),
     ),
-    "a stranger is not let in": (
-        Configuration(ABC, (A, B, C)),
-        view({A, B, C}, joining=(D,)),
+    "replica on an unwanted VM is not added": (
+        Configuration(VMS_ABC, (A, B, C)),
+        membership_view({A, B, C}, join_requests=(D,)),
         None,
     ),
-    "a learner that is behind waits": (
-        Configuration(ABC, (A,), (B,)),
-        view({A, B}),
+    "lagging learner is not promoted": (
+        Configuration(VMS_ABC, (A,), (B,)),
+        membership_view({A, B}),
         None,
     ),
-    "a learner that has caught up votes": (
-        Configuration(ABC, (A,), (B,)),
-        view({A, B}, caught_up={B}),
-        Configuration(ABC, (A, B)),
+    "caught-up learner is promoted": (
+        Configuration(VMS_ABC, (A,), (B,)),
+        membership_view({A, B}, caught_up_learners={B}),
+        Configuration(VMS_ABC, (A, B)),
     ),
-    "a lost folder stays until its successor is ready": (
-        Configuration(ABC, (A, B, C), (C2,)),
-        view({A, B, C2}),
+    "unresponsive voter stays until its replacement has caught up": (
+        Configuration(VMS_ABC, (A, B, C), (C_REPLACEMENT,)),
+        membership_view({A, B, C_REPLACEMENT}),
         None,
     ),
-    "a lost folder goes first": (
-        Configuration(ABC, (A, B, C), (C2,)),
-        view({A, B, C2}, caught_up={C2}),
-        Configuration(ABC, (A, B), (C2,)),
+    "unresponsive voter is removed before its replacement votes": (
+        Configuration(VMS_ABC, (A, B, C), (C_REPLACEMENT,)),
+        membership_view({A, B, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
+        Configuration(VMS_ABC, (A, B), (C_REPLACEMENT,)),
     ),
-    "then its successor votes": (
-        Configuration(ABC, (A, B), (C2,)),
-        view({A, B, C2}, caught_up={C2}),
-        Configuration(ABC, (A, B, C2)),
+    "replacement is promoted after the removal": (
+        Configuration(VMS_ABC, (A, B), (C_REPLACEMENT,)),
+        membership_view({A, B, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
+        Configuration(VMS_ABC, (A, B, C_REPLACEMENT)),
     ),
-    "no voter goes when the rest has no majority that answers": (
-        Configuration(ABC, (A, B, C), (C2,)),
-        view({A, C2}, caught_up={C2}),
+    "no voter is removed without a live quorum of the rest": (
+        Configuration(VMS_ABC, (A, B, C), (C_REPLACEMENT,)),
+        membership_view({A, C_REPLACEMENT}, caught_up_learners={C_REPLACEMENT}),
         None,
     ),
-    "an old request to join does not push out a live voter": (
-        Configuration(ABC, (A, B, C2)),
-        view({A, B, C2}, joining=(C,)),
+    "late join request does not replace a live voter": (
+        Configuration(VMS_ABC, (A, B, C_REPLACEMENT)),
+        membership_view({A, B, C_REPLACEMENT}, join_requests=(C,)),
         None,
     ),
-    "a learner of a lost folder is dropped": (
-        Configuration(ABC, (A, B), (C,)),
-        view({A, B}, joining=(C2,)),
-        Configuration(ABC, (A, B)),
+    "unresponsive learner with a replacement is removed": (
+        Configuration(VMS_ABC, (A, B), (C,)),
+        membership_view({A, B}, join_requests=(C_REPLACEMENT,)),
+        Configuration(VMS_ABC, (A, B)),
     ),
-    "a live VM to be replaced goes last": (
+    "unwanted live voter stays until its replacement votes": (
         Configuration(("a", "b", "d"), (A, B, C), (D,)),
-        view({A, B, C, D}, caught_up={D}),
+        membership_view({A, B, C, D}, caught_up_learners={D}),
         Configuration(("a", "b", "d"), (A, B, C, D)),
     ),
-    "when its successor votes it goes": (
+    "unwanted live voter is removed once its replacement votes": (
         Configuration(("a", "b", "d"), (A, B, C, D)),
-        view({A, B, C, D}),
+        membership_view({A, B, C, D}),
         Configuration(("a", "b", "d"), (A, B, D)),
     ),
-    "a silent VM to be replaced stays until its successor votes": (
+    "unwanted unresponsive voter stays until its replacement votes": (
         Configuration(("a", "b", "d"), (A, B, C), (D,)),
-        view({A, B, D}, caught_up={D}),
+        membership_view({A, B, D}, caught_up_learners={D}),
         Configuration(("a", "b", "d"), (A, B, C, D)),
     ),
-    "then the silent VM goes": (
+    "unwanted unresponsive voter is removed next": (
         Configuration(("a", "b", "d"), (A, B, C, D)),
-        view({A, B, D}),
+        membership_view({A, B, D}),
         Configuration(("a", "b", "d"), (A, B, D)),
     ),
-    "a leader that is not wanted goes last of all": (
+    "unwanted leader is removed last": (
         Configuration(("b",), (A, B, C)),
-        view({A, B, C}),
+        membership_view({A, B, C}),
         Configuration(("b",), (A, B)),
     ),
 }
 
 
-@pytest.mark.parametrize("name", CASES)
-def test_steps(name):
-    current, seen, expected = CASES[name]
-    assert next_configuration(current, seen) == expected
+@pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
+def test_next_configuration(name):
+    current, view, expected_configuration = MEMBERSHIP_STEPS[name]
+    assert next_configuration(current, view) == expected_configuration
 
 
-@pytest.mark.parametrize("name", CASES)
-def test_quorums_of_two_configurations_in_a_row_overlap(name):
-    current, _, following = CASES[name]
-    if following is None:
+@pytest.mark.parametrize("name", MEMBERSHIP_STEPS)
+def test_quorums_of_consecutive_configurations_overlap(name):
+    current, _, next_step = MEMBERSHIP_STEPS[name]
+    if next_step is None:
         return
-    union = set(current.voters) | set(following.voters)
-    assert current.quorum + following.quorum > len(union)
+    union = set(current.voters) | set(next_step.voters)
+    assert current.quorum + next_step.quorum > len(union)
 
 
 @pytest.mark.parametrize(
-    ("vms", "voters", "quorum", "ready"),
+    ("vms", "voters", "quorum", "has_enough_voters"),
     [
         (("a",), (A,), 1, True),
-        (ABC, (A,), 1, False),
-        (ABC, (A, B), 2, True),
-        (ABC, (A, B, C), 2, True),
+        (VMS_ABC, (A,), 1, False),
+        (VMS_ABC, (A, B), 2, True),
+        (VMS_ABC, (A, B, C), 2, True),
         (tuple("abcde"), (A, B, C), 3, True),
         (tuple("abcde"), (A, B, C, D), 3, True),
         (tuple("abcde"), (A, B, C, D, E), 3, True),
     ],
 )
-def test_a_quorum_outlives_any_minority_of_the_wanted_vms(vms, voters, quorum, ready):
+def test_quorum_survives_loss_of_a_minority_of_wanted_vms(
+    vms, voters, quorum, has_enough_voters
+):
     configuration = Configuration(vms, voters)
     assert configuration.quorum == quorum
-    assert configuration.is_ready == ready
+    assert configuration.is_ready == has_enough_voters
