--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/load_tracker.py
@@ -0,0 +1,340 @@
+"""Load on each server, derived from the packets of callers.
+
+Servers answer callers directly, so this VM sees no answers. A request counts as in
+progress from its SYN packet or data until the caller acknowledges part of the answer,
+closes the flow or has been silent for too long.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from kumquatmux_core.identity import ZoneName
+from kumquatmux_core.latencies import Latencies
+from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.work import PeerLoad, ServerLoad
+
+SEQUENCE_SPACE = 1 << 32
+HALF_SEQUENCE_SPACE = 1 << 31
+
+
+class Flow:
+    """State of one flow, derived from the caller's packets.
+
+    Attributes:
+        token: Token of the flow's server.
+        tried_tokens: Tokens of the servers that the flow's SYN packets were sent to.
+        is_established: Whether the caller has sent a packet after its SYN.
+        syn_forwarded_at: Time when the latest SYN packet was forwarded.
+        last_packet_at: Time when the latest packet arrived.
+        request_sent_at: Time of the latest SYN or new data of the request in progress,
+            None if there is no request in progress.
+        last_data_at: Time when the latest new data arrived.
+        retransmissions: Number of retransmissions of that data without an answer.
+        baseline_ack_number: Acknowledgment number when the latest new data or answer
+            was seen; a later one shows that the server has answered.
+        has_sent_request: Whether the caller has sent a request on the flow.
+        next_sequence_number: Sequence number after the last byte of the caller's data.
+    """
+
+    __slots__ = (
+        "baseline_ack_number",
+        "last_data_at",
+        "request_sent_at",
+        "next_sequence_number",
+        "has_sent_request",
+        "is_established",
+        "syn_forwarded_at",
+        "retransmissions",
+        "last_packet_at",
+        "token",
+        "tried_tokens",
+    )
+
+    def __init__(self, token: int, now: float) -> None:
+        self.token = token
+        self.tried_tokens: tuple[int, ...] = ()
+        self.is_established = False
+        self.syn_forwarded_at = now
+        self.last_packet_at = now
+        self.request_sent_at: float | None = None
+        self.last_data_at = now
+        self.retransmissions = 0
+        self.baseline_ack_number = 0
+        self.has_sent_request = False
+        self.next_sequence_number = 0
+
+
+class LocalLoad:
+    """Load that the flows through this VM put on one server.
+
+    Attributes:
+        active_requests: Requests in progress.
+        open_flows: Open flows.
+        unanswered_syns: Consecutive SYN packets that the server left unanswered.
+        avoided_until: Time until which new flows go to other servers if possible.
+        last_answer_at: Time of the latest evidence that the server answers.
+    """
+
+    __slots__ = (
+        "last_answer_at",
+        "avoided_until",
+        "active_requests",
+        "open_flows",
+        "unanswered_syns",
+    )
+
+    def __init__(self) -> None:
+        self.active_requests = 0
+        self.open_flows = 0
+        self.unanswered_syns = 0
+        self.avoided_until = -math.inf
+        self.last_answer_at = -math.inf
+
+
+class LoadTracker:
+    """Flows through this VM and the load on each server.
+
+    Attributes:
+        flows: Flows by flow key.
+        local_loads: Load that flows through this VM cause, by token.
+        zone: Load that other VMs of the zone report.
+        forwarded_syns: Times and flow keys of forwarded SYN packets, oldest first.
+        follow_up_share: Share of a route's requests that follow another one on their
+            flow.
+        silent_zones: Other zones that do not answer, so that their servers are probably
+            unreachable.
+        latencies: Histograms of the handshake time and the time to the first answer.
+    """
+
+    def __init__(self, settings: TokenSettings) -> None:
+        self.settings = settings
+        self.flows: dict[bytes, Flow] = {}
+        self.local_loads: dict[int, LocalLoad] = {}
+        self.zone = PeerLoad(settings)
+        self.forwarded_syns: deque[tuple[float, bytes]] = deque()
+        self.follow_up_share: dict[bytes, float] = {}
+        self.silent_zones: frozenset[ZoneName] = frozenset()
+        self.latencies = Latencies()
+
+    def local_load_at(self, token: int) -> LocalLoad:
+        """Return the load that flows through this VM put on a server."""
+        load = self.local_loads.get(token)
+        if load is None:
+            load = self.local_loads[token] = LocalLoad()
+        return load
+
+    def expects_many_requests(self, route_address: bytes) -> bool:
+        """Return whether the flows of a route are likely to carry many requests."""
+        return (
+            self.follow_up_share.get(route_address, 0.0)
+            > self.settings.follow_up_share_threshold
+        )
+
+    def record_syn(self, header: Head, token: int, now: float) -> Flow:
+        """Record that a flow's SYN packet goes to a server; return the flow."""
+        flow = self.flows.get(header.flow)
+        if flow is None or flow.is_established:
+            self._remove(header.flow)
+            flow = self.flows[header.flow] = Flow(token, now)
+            self.local_load_at(token).open_flows += 1
+        elif flow.token != token:
+            self._end_request(flow)
+            self.local_load_at(flow.token).open_flows -= 1
+            flow.token = token
+            self.local_load_at(token).open_flows += 1
+        if token not in flow.tried_tokens:
+            flow.tried_tokens = (*flow.tried_tokens, token)
+        flow.syn_forwarded_at = now
+        flow.last_packet_at = now
+        self._start_request(flow, now)
+        self.forwarded_syns.append((now, header.flow))
+        return flow
+
+    def record_unanswered_syn(self, flow: Flow, now: float) -> bool:
+        """Record, when a SYN is retransmitted, that its server did not answer.
+
+        Returns:
+            False if the server has answered a caller since the SYN was forwarded, so
+            that nothing is recorded.
+        """
+        load = self.local_load_at(flow.token)
+        if load.last_answer_at > flow.syn_forwarded_at:
+            return False
+        backoff_s = self.settings.server_avoidance_s * 2**load.unanswered_syns
+        load.unanswered_syns += 1
+        load.avoided_until = now + min(backoff_s, self.settings.server_avoidance_max_s)
+        return True
+
+    def record_packet(self, header: Head, token: int, now: float) -> None:
+        """Update the load from a packet that is not a SYN."""
+        flow = self.flows.get(header.flow)
+        if flow is None:
+            flow = self.flows[header.flow] = Flow(token, now)
+            flow.next_sequence_number = header.sequence
+            flow.has_sent_request = True
+            self.local_load_at(token).open_flows += 1
+        flow.last_packet_at = now
+        if not flow.is_established:
+            self._establish(flow, token, header, now)
+        if header.is_closing:
+            self._remove(header.flow)
+            return
+        if header.length and _is_sequence_after(
+            header.sequence + header.length, flow.next_sequence_number
+        ):
+            flow.next_sequence_number = (
+                header.sequence + header.length
+            ) % SEQUENCE_SPACE
+            flow.baseline_ack_number = header.acknowledged
+            flow.last_data_at = now
+            flow.retransmissions = 0
+            self._update_follow_up_share(flow, header)
+            self._start_request(flow, now)
+        elif _is_sequence_after(header.acknowledged, flow.baseline_ack_number):
+            flow.baseline_ack_number = header.acknowledged
+            flow.retransmissions = 0
+            self.local_load_at(flow.token).last_answer_at = now
+            if flow.request_sent_at is not None:
+                self.latencies.record("first-answer", now - flow.request_sent_at)
+            self._end_request(flow)
+        elif header.length:
+            flow.retransmissions += 1
+
+    def is_server_unresponsive(self, flow_key: bytes, now: float) -> bool:
+        """Return whether a caller retransmits data and its server answers no caller.
+
+        Only callers whose packets pass this VM are considered. A request that merely
+        takes long does not match, as other callers get answers.
+        """
+        flow = self.flows.get(flow_key)
+        if (
+            flow is None
+            or flow.retransmissions < self.settings.lost_flow_retransmissions
+        ):
+            return False
+        is_overdue = now - flow.last_data_at >= self.settings.lost_flow_min_s
+        return (
+            is_overdue
+            and self.local_load_at(flow.token).last_answer_at <= flow.last_data_at
+        )
+
+    def has_unanswered_syns(self, token: int) -> bool:
+        """Return whether a server left a SYN packet unanswered.
+
+        Reports of the other VMs of the zone count too.
+        """
+        if self.local_load_at(token).unanswered_syns:
+            return True
+        peer_load = self.zone.totals.get(token)
+        return peer_load is not None and peer_load.avoiding_vms > 0
+
+    def remove_flow(self, flow_key: bytes) -> None:
+        """Remove a flow and its load."""
+        self._remove(flow_key)
+
+    def expire_syn_requests(self, now: float) -> None:
+        """Stop counting the request of a SYN packet if its caller sent nothing more.
+
+        The caller has given up, uses another server, or its packets pass another VM.
+        """
+        limit = now - self.settings.handshake_timeout_s
+        while self.forwarded_syns and self.forwarded_syns[0][0] < limit:
+            forwarded_at, flow_key = self.forwarded_syns.popleft()
+            flow = self.flows.get(flow_key)
+            if (
+                flow
+                and not flow.is_established
+                and flow.syn_forwarded_at == forwarded_at
+            ):
+                self._end_request(flow)
+
+    def remove_expired(self, now: float) -> None:
+        """Remove flows, requests and servers that have been idle for too long."""
+        self.zone.remove_expired(now)
+        idle_limit = now - self.settings.flow_idle_timeout_s
+        request_limit = now - self.settings.request_timeout_s
+        for flow_key, flow in list(self.flows.items()):
+            if flow.last_packet_at < idle_limit:
+                self._remove(flow_key)
+            elif (
+                flow.request_sent_at is not None
+                and flow.request_sent_at < request_limit
+            ):
+                self._end_request(flow)
+        for token, load in list(self.local_loads.items()):
+            is_unused = not load.open_flows and load.avoided_until < now
+            if is_unused and load.last_answer_at < idle_limit:
+                del self.local_loads[token]
+
+    def reportable_loads(self, now: float) -> list[ServerLoad]:
+        """Return the load to report to the other VMs of the zone."""
+        self.expire_syn_requests(now)
+        return [
+            ServerLoad(
+                token, load.active_requests, load.open_flows, load.avoided_until > now
+            )
+            for token, load in self.local_loads.items()
+            if load.open_flows or load.avoided_until > now
+        ]
+
+    def _establish(self, flow: Flow, token: int, header: Head, now: float) -> None:
+        """Mark a flow as open at the server that the caller continues with.
+
+        This is not always the server that the latest SYN packet was sent to.
+        """
+        flow.is_established = True
+        flow.baseline_ack_number = header.acknowledged
+        flow.next_sequence_number = header.sequence
+        if flow.token != token:
+            has_request = flow.request_sent_at is not None
+            self._end_request(flow)
+            self.local_load_at(flow.token).open_flows -= 1
+            flow.token = token
+            self.local_load_at(token).open_flows += 1
+            if has_request:
+                self._start_request(flow, now)
+        if flow.tried_tokens:
+            self._record_handshake(flow, now)
+
+    def _record_handshake(self, flow: Flow, now: float) -> None:
+        """Record that the server answered the SYN packet that this VM forwarded."""
+        self.latencies.record("handshake", now - flow.syn_forwarded_at)
+        load = self.local_load_at(flow.token)
+        load.unanswered_syns = 0
+        load.avoided_until = -math.inf
+        load.last_answer_at = now
+
+    def _update_follow_up_share(self, flow: Flow, header: Head) -> None:
+        """Update a route's share of requests that follow another on their flow."""
+        if flow.request_sent_at is not None and flow.has_sent_request:
+            return
+        share = self.follow_up_share.get(header.route, 0.0)
+        smoothing = self.settings.follow_up_share_smoothing
+        self.follow_up_share[header.route] = share + smoothing * (
+            float(flow.has_sent_request) - share
+        )
+        flow.has_sent_request = True
+
+    def _start_request(self, flow: Flow, now: float) -> None:
+        if flow.request_sent_at is None:
+            self.local_load_at(flow.token).active_requests += 1
+        flow.request_sent_at = now
+
+    def _end_request(self, flow: Flow) -> None:
+        if flow.request_sent_at is not None:
+            self.local_load_at(flow.token).active_requests -= 1
+            flow.request_sent_at = None
+
+    def _remove(self, flow_key: bytes) -> None:
+        flow = self.flows.pop(flow_key, None)
+        if flow is not None:
+            self._end_request(flow)
+            self.local_load_at(flow.token).open_flows -= 1
+
+
+def _is_sequence_after(number: int, reference: int) -> bool:
+    """Return whether a sequence number comes after another, allowing for wraparound."""
+    return 0 < (number - reference) % SEQUENCE_SPACE < HALF_SEQUENCE_SPACE
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -1,7 +1,7 @@
-"""Which entry VM of a zone places the flows of a service, and how it is asked.
+"""Selection of the VM that places the flows of a service: its placement coordinator.
 
-One VM that sees every opening of a service in its zone knows the work at each server
-as it is, where VMs that tell each other what they see choose by old numbers.
+One VM that sees every SYN packet of a service in its zone knows the current load on
+each server. If each VM placed flows itself, it would use outdated load reports.
 """
 
 from __future__ import annotations
@@ -16,138 +16,149 @@
 
 
 class PlaceQuestion(NamedTuple):
-    """Ask for a server for a new flow.
+    """Placement request: asks another VM to select the server for a new flow.
 
     Attributes:
-        sender: Who asks.
-        flow: 12 bytes that name the flow.
-        service: The service of its route.
-        tried: Tokens that copies of its opening packet went to.
-        is_long: Whether it is likely to carry many requests.
+        sender: The requesting VM.
+        flow_key: 12-byte flow key.
+        service: Service that the flow's route selects.
+        tried_tokens: Tokens of the servers that earlier SYN packets of the flow were
+            sent to.
+        expects_many_requests: Whether the flow is likely to carry many requests.
     """
 
     sender: VmId
-    flow: bytes
+    flow_key: bytes
     service: ServiceName
-    tried: tuple[int, ...]
-    is_long: bool
+    tried_tokens: tuple[int, ...]
+    expects_many_requests: bool
 
 
 class PlaceAnswer(NamedTuple):
-    """The server for a new flow.
+    """Answer to a placement request: the server selected for a new flow.
 
     Attributes:
-        sender: Who answers.
-        flow: The flow.
-        token: The server's token, 0 if none may take it.
-        is_full: Whether more work waits at every server than finishes in time.
-        grant: Number of the grant, 0 if nothing was granted.
+        sender: The answering VM.
+        flow_key: Flow key from the request.
+        token: Token of the selected server, 0 if no server can take the flow.
+        is_full: Whether the request queue of the selected server is full, so that the
+            flow has to wait.
+        reservation_number: Number of the reservation for the flow, 0 for none.
     """
 
     sender: VmId
-    flow: bytes
+    flow_key: bytes
     token: int
     is_full: bool
-    grant: int
+    reservation_number: int
 
 
-class Silence:
-    """A VM that left questions unanswered.
+class Backoff:
+    """Backoff from a VM that left placement requests unanswered.
 
     Attributes:
-        until: When it is asked again, in steady seconds.
-        span: Seconds for which it was last left alone.
+        expires_at: Time when the VM may be asked again, in monotonic seconds.
+        duration_s: Duration of the latest backoff in seconds.
     """
 
     def __init__(self) -> None:
-        self.until = -math.inf
-        self.span = 0.0
+        self.expires_at = -math.inf
+        self.duration_s = 0.0
 
 
-class Asked(NamedTuple):
-    """A question that is open.
+class PendingRequest(NamedTuple):
+    """A placement request that is not answered yet.
 
     Attributes:
-        vm: Who was asked.
-        at: When, in steady seconds.
+        vm: The VM that was asked.
+        sent_at: Time when the request was sent, in monotonic seconds.
     """
 
     vm: VmId
-    at: float
+    sent_at: float
 
 
-class Placers:
-    """Chooses whom to ask for a service's flows.
+class CoordinatorSelector:
+    """Selects placement coordinators and tracks requests to them.
 
     Attributes:
-        peers: Entry VMs of the zone, this one included.
-        asked: Open questions by flow.
+        entry_vms: Entry VMs of the zone, including this one.
+        rankings: Entry VMs in order of preference, by service.
+        backoffs: Backoff from each VM that left placement requests unanswered.
+        pending_requests: Unanswered placement requests by flow key.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
-        self.peers: tuple[VmId, ...] = ()
-        self.ranks: dict[ServiceName, list[VmId]] = {}
-        self.silent: dict[VmId, Silence] = {}
-        self.asked: dict[bytes, Asked] = {}
+        self.entry_vms: tuple[VmId, ...] = ()
+        self.rankings: dict[ServiceName, list[VmId]] = {}
+        self.backoffs: dict[VmId, Backoff] = {}
+        self.pending_requests: dict[bytes, PendingRequest] = {}
 
-    def set_peers(self, peers: tuple[VmId, ...]) -> None:
-        """Take the entry VMs of the zone."""
-        if peers != self.peers:
-            self.peers = peers
-            self.ranks.clear()
+    def set_peers(self, entry_vms: tuple[VmId, ...]) -> None:
+        """Set the entry VMs of the zone."""
+        if entry_vms != self.entry_vms:
+            self.entry_vms = entry_vms
+            self.rankings.clear()
 
     def placer(self, service: ServiceName, now: float) -> VmId:
-        """Return the VM that places a service's flows, this one if no other does."""
-        me = self.settings.vm
-        for vm in self._rank(service):
-            silence = self.silent.get(vm)
-            if vm == me or silence is None or silence.until <= now:
+        """Return the placement coordinator of a service.
+
+        A VM that recently left a request unanswered is skipped; this VM never is.
+        """
+        own_vm = self.settings.vm
+        for vm in self._ranking(service):
+            backoff = self.backoffs.get(vm)
+            if vm == own_vm or backoff is None or backoff.expires_at <= now:
                 return vm
-        return me
+        return own_vm
 
-    def ask(self, vm: VmId, flow: bytes, now: float) -> None:
-        """Note a question."""
-        self.asked[flow] = Asked(vm, now)
+    def record_request(self, vm: VmId, flow_key: bytes, now: float) -> None:
+        """Record that a placement request was sent."""
+        self.pending_requests[flow_key] = PendingRequest(vm, now)
 
-    def is_open(self, flow: bytes, now: float) -> bool:
-        """Return whether an answer may still come; note a VM that gave none."""
-        asked = self.asked.get(flow)
-        if asked is None:
+    def is_pending(self, flow_key: bytes, now: float) -> bool:
+        """Return whether an answer to a flow's placement request may still come.
+
+        A request that has timed out is removed, and the VM that was asked is avoided
+        for a while.
+        """
+        request = self.pending_requests.get(flow_key)
+        if request is None:
             return False
-        if now - asked.at < self.settings.answer_s:
+        if now - request.sent_at < self.settings.placement_timeout_s:
             return True
-        del self.asked[flow]
-        self._miss(asked, now)
+        del self.pending_requests[flow_key]
+        self._start_backoff(request, now)
         return False
 
-    def answered(self, vm: VmId, flow: bytes) -> None:
-        """Note an answer."""
-        self.silent.pop(vm, None)
-        asked = self.asked.get(flow)
-        if asked is not None and asked.vm == vm:
-            del self.asked[flow]
-
-    def sweep(self, now: float) -> None:
-        """Drop questions about flows that nobody asks about any more."""
-        for flow in list(self.asked):
-            self.is_open(flow, now)
-
-    def _miss(self, asked: Asked, now: float) -> None:
-        silence = self.silent.setdefault(asked.vm, Silence())
-        if silence.until > asked.at:
+    def record_answer(self, vm: VmId, flow_key: bytes) -> None:
+        """Record an answer to a placement request and end the VM's backoff."""
+        self.backoffs.pop(vm, None)
+        request = self.pending_requests.get(flow_key)
+        if request is not None and request.vm == vm:
+            del self.pending_requests[flow_key]
+
+    def remove_expired(self, now: float) -> None:
+        """Remove placement requests that have timed out."""
+        for flow_key in list(self.pending_requests):
+            self.is_pending(flow_key, now)
+
+    def _start_backoff(self, request: PendingRequest, now: float) -> None:
+        backoff = self.backoffs.setdefault(request.vm, Backoff())
+        if backoff.expires_at > request.sent_at:
             return
         settings = self.settings
-        silence.span = min(
-            max(2 * silence.span, settings.silent_placer_s),
-            settings.silent_placer_max_s,
+        backoff.duration_s = min(
+            max(2 * backoff.duration_s, settings.coordinator_backoff_s),
+            settings.coordinator_backoff_max_s,
         )
-        silence.until = now + silence.span
-        log_decision("placer-silent", placer=asked.vm, avoided_s=silence.span)
-
-    def _rank(self, service: ServiceName) -> list[VmId]:
-        ranked = self.ranks.get(service)
-        if ranked is None:
-            names = rendezvous.rank(service.encode(), self.peers)
-            ranked = self.ranks[service] = [VmId(name) for name in names]
-        return ranked
+        backoff.expires_at = now + backoff.duration_s
+        log_decision("placer-silent", placer=request.vm, avoided_s=backoff.duration_s)
+
+    def _ranking(self, service: ServiceName) -> list[VmId]:
+        ranking = self.rankings.get(service)
+        if ranking is None:
+            ranked_names = rendezvous.rank(service.encode(), self.entry_vms)
+            ranking = self.rankings[service] = [VmId(name) for name in ranked_names]
+        return ranking
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -1,4 +1,4 @@
-"""Packets that wait: for their token to be known, or for a server to open a flow at."""
+"""Buffers of packets with an unknown token and of SYN packets without a server."""
 
 from __future__ import annotations
 
@@ -10,24 +10,25 @@
 
 
 class Held(NamedTuple):
-    """A packet that waits.
+    """A buffered packet.
 
     Attributes:
-        head: The packet.
+        head: Its header fields.
         data: Its bytes.
-        until: When it is dropped, in steady seconds.
+        expires_at: Time when it is dropped, in monotonic seconds.
     """
 
     head: Head
     data: bytes
-    until: float
+    expires_at: float
 
 
-class HeldTokens:
-    """Packets whose token is being asked for.
+class TokenLookupBuffer:
+    """Packets that are buffered while their token is looked up.
 
     Attributes:
-        count: How many wait.
+        by_token: The packets by token.
+        count: Total number of packets.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
@@ -35,60 +36,75 @@
         self.by_token: dict[int, list[Held]] = {}
         self.count = 0
 
-    def put(self, head: Head, data: bytes, now: float) -> bool:
-        """Keep a packet for a while; return whether its token is to be asked for."""
-        if self.count >= self.settings.held_packets:
+    def put(self, header: Head, data: bytes, now: float) -> bool:
+        """Buffer a packet if there is room; return whether to look up its token.
+
+        The token is looked up only for the first packet that carries it.
+        """
+        if self.count >= self.settings.token_buffer_limit:
             return False
-        waiting = self.by_token.setdefault(head.token, [])
-        waiting.append(Held(head, data, now + self.settings.hold_s))
+        packets = self.by_token.setdefault(header.token, [])
+        packets.append(Held(header, data, now + self.settings.token_lookup_timeout_s))
         self.count += 1
-        return len(waiting) == 1
-
-    def release(self, token: int) -> list[Held]:
-        """Return the packets that waited for a token that is known now."""
-        released = self.by_token.pop(token, [])
-        self.count -= len(released)
-        return released
-
-    def sweep(self, now: float) -> None:
-        """Drop what has waited too long."""
-        for token, waiting in list(self.by_token.items()):
-            kept = [one for one in waiting if one.until > now]
-            self.count -= len(waiting) - len(kept)
-            if kept:
-                self.by_token[token] = kept
+        return len(packets) == 1
+
+    def pop_packets(self, token: int) -> list[Held]:
+        """Remove and return the packets that carry a token."""
+        packets = self.by_token.pop(token, [])
+        self.count -= len(packets)
+        return packets
+
+    def remove_expired(self, now: float) -> None:
+        """Drop packets that have been buffered for too long."""
+        for token, packets in list(self.by_token.items()):
+            remaining = [packet for packet in packets if packet.expires_at > now]
+            self.count -= len(packets) - len(remaining)
+            if remaining:
+                self.by_token[token] = remaining
                 continue
             del self.by_token[token]
-            log_decision("token-unknown", token=token, dropped=len(waiting))
+            log_decision("token-unknown", token=token, dropped=len(packets))
 
 
-class WaitingOpenings:
-    """Opening packets without a server, one a flow, while their callers wait."""
+class SynBuffer:
+    """SYN packets that wait for a server, at most one for each flow.
+
+    Attributes:
+        by_flow: The packets by flow key.
+    """
 
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
         self.by_flow: dict[bytes, Held] = {}
 
-    def put(self, head: Head, data: bytes, now: float) -> bool:
-        """Keep an opening packet; return whether there was room."""
+    def put(self, header: Head, data: bytes, now: float) -> bool:
+        """Buffer a SYN packet; return whether there was room.
+
+        A retransmission replaces the SYN packet buffered for its flow and keeps its
+        deadline.
+        """
         settings = self.settings
-        known = self.by_flow.get(head.flow)
-        if known is None and len(self.by_flow) >= settings.waiting_openings:
+        buffered = self.by_flow.get(header.flow)
+        if buffered is None and len(self.by_flow) >= settings.syn_buffer_limit:
             return False
-        copy = min(head.copy, len(settings.copy_after_s) - 1)
-        began = now - settings.copy_after_s[copy]
-        until = known.until if known else began + settings.patience_s
-        self.by_flow[head.flow] = Held(head, data, until)
+        offset_index = min(header.copy, len(settings.syn_transmission_offsets_s) - 1)
+        first_sent_at = now - settings.syn_transmission_offsets_s[offset_index]
+        expires_at = (
+            buffered.expires_at
+            if buffered
+            else first_sent_at + settings.caller_syn_timeout_s
+        )
+        self.by_flow[header.flow] = Held(header, data, expires_at)
         return True
 
     def due(self, now: float) -> list[Held]:
-        """Return the packets whose callers still wait; forget the others."""
-        for flow, held in list(self.by_flow.items()):
-            if held.until <= now:
-                log_decision("opening-given-up", flow=flow.hex())
-                del self.by_flow[flow]
+        """Drop packets whose callers no longer wait; return the other packets."""
+        for flow_key, packet in list(self.by_flow.items()):
+            if packet.expires_at <= now:
+                log_decision("opening-given-up", flow=flow_key.hex())
+                del self.by_flow[flow_key]
         return list(self.by_flow.values())
 
-    def remove(self, flow: bytes) -> None:
-        """Hold the opening packet of a flow no longer."""
-        self.by_flow.pop(flow, None)
+    def remove(self, flow_key: bytes) -> None:
+        """Remove the SYN packet of a flow."""
+        self.by_flow.pop(flow_key, None)
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -1,4 +1,4 @@
-"""Work at servers as the entry VMs of a zone tell it to those that place flows."""
+"""Reports of server load from entry VMs to the VMs of the zone that place flows."""
 
 from __future__ import annotations
 
@@ -9,219 +9,263 @@
 from kumquatmux_tokens.settings import TokenSettings
 
 
-class SharedWork(NamedTuple):
-    """One server's work as one VM sees it.
+class ServerLoad(NamedTuple):
+    """Load on one server as seen by one entry VM.
 
     Attributes:
-        token: The server's token.
-        busy: Requests in progress.
-        open: Open flows.
-        is_avoided: Whether it left opening packets unanswered.
+        token: Token of the server.
+        active_requests: Requests in progress.
+        open_flows: Open flows.
+        is_avoided: Whether the VM avoids the server because it left SYN packets
+            unanswered.
     """
 
     token: int
-    busy: int
-    open: int
+    active_requests: int
+    open_flows: int
     is_avoided: bool
 
 
 class LoadShare(NamedTuple):
-    """What one VM tells another that places flows.
+    """Load report from one entry VM to another.
 
     Attributes:
-        sender: Who tells.
-        number: Grows with each message of a process.
-        is_whole: Whether servers that are not named have no work at the sender.
-        grant: Latest grant of the receiver that the work holds already, 0 for none.
-        work: The servers whose work changed.
+        sender: The reporting VM.
+        number: Report number, which increases with each report of a process.
+        is_complete: Whether the report is complete, so that servers not listed in it
+            have no load at the sender.
+        included_reservation: Number of the receiver's latest reservation that
+            ``server_loads`` already includes, 0 for none.
+        server_loads: Load on each server whose load changed, or on all if
+            ``is_complete``.
     """
 
     sender: VmId
     number: int
-    is_whole: bool
-    grant: int
-    work: tuple[SharedWork, ...]
+    is_complete: bool
+    included_reservation: int
+    server_loads: tuple[ServerLoad, ...]
 
 
-class Total:
-    """Work at one server, summed over the other VMs of the zone.
+class PeerLoadTotal:
+    """Load on one server, summed over the other VMs of the zone.
 
     Attributes:
-        busy: Requests in progress, granted flows included.
-        open: Open flows, granted ones included.
-        avoided: How many VMs avoid it.
+        active_requests: Requests in progress, including reservations.
+        open_flows: Open flows, including reservations.
+        avoiding_vms: Number of VMs that avoid the server.
     """
 
-    __slots__ = ("avoided", "busy", "open")
+    __slots__ = ("avoiding_vms", "active_requests", "open_flows")
 
     def __init__(self) -> None:
-        self.busy = 0
-        self.open = 0
-        self.avoided = 0
+        self.active_requests = 0
+        self.open_flows = 0
+        self.avoiding_vms = 0
 
 
-class Grant(NamedTuple):
-    """A flow that this VM placed for another one.
+class Reservation(NamedTuple):
+    """Reservation for a flow that this VM placed on behalf of another VM.
+
+    It counts as load until the other VM's reports include the flow.
 
     Attributes:
-        number: Place among the grants of this process.
-        token: The server's token.
-        until: When it counts no longer even if the other VM says nothing.
+        number: Reservation number, which increases within a process.
+        token: Token of the server.
+        expires_at: Time when the reservation expires, in monotonic seconds.
     """
 
     number: int
     token: int
-    until: float
+    expires_at: float
 
 
-class Teller:
-    """What another VM told last.
+class ReportingPeer:
+    """State of the load reports from one other VM.
 
     Attributes:
-        heard_at: When, in steady seconds.
-        number: Number of its latest message.
-        work: Its work by token.
-        grants: Flows placed for it that its work does not hold yet.
+        last_report_at: Time of the latest report, in monotonic seconds.
+        last_report_number: Number of the latest report.
+        server_loads: Reported load by token.
+        reservations: Reservations for the VM that its reports do not include yet.
     """
 
     def __init__(self) -> None:
-        self.heard_at = 0.0
-        self.number = 0
-        self.work: dict[int, SharedWork] = {}
-        self.grants: list[Grant] = []
+        self.last_report_at = 0.0
+        self.last_report_number = 0
+        self.server_loads: dict[int, ServerLoad] = {}
+        self.reservations: list[Reservation] = []
 
 
-class ZoneWork:
-    """Work at servers that passes other VMs of the zone.
+class PeerLoad:
+    """Load on servers that the other VMs of the zone report.
 
     Attributes:
         totals: Sums by token.
-        tellers: What they are made of.
-        granted: Grants so far.
+        reporting_peers: State of the reports from each VM.
+        reservation_count: Number of reservations made.
     """
 
     def __init__(self, settings: TokenSettings) -> None:
         self.settings = settings
-        self.totals: dict[int, Total] = {}
-        self.tellers: dict[VmId, Teller] = {}
-        self.granted = 0
-
-    def take(self, share: LoadShare, now: float) -> None:
-        """Take what another VM tells."""
-        teller = self._teller(share.sender, now)
-        is_old = 0 < teller.number - share.number < self.settings.reordered_shares
-        if is_old:
+        self.totals: dict[int, PeerLoadTotal] = {}
+        self.reporting_peers: dict[VmId, ReportingPeer] = {}
+        self.reservation_count = 0
+
+    def take(self, report: LoadShare, now: float) -> None:
+        """Apply a load report from another VM.
+
+        A report that a newer one overtook is ignored. A report number that is lower by
+        ``max_report_reordering`` or more comes from a restarted process and is
+        accepted.
+        """
+        peer = self._reporting_peer(report.sender, now)
+        is_overtaken = (
+            0
+            < peer.last_report_number - report.number
+            < self.settings.max_report_reordering
+        )
+        if is_overtaken:
             return
-        teller.number = share.number
-        teller.heard_at = now
-        if share.is_whole:
-            named = {one.token for one in share.work}
-            for token in [one for one in teller.work if one not in named]:
-                self._replace(teller, SharedWork(token, 0, 0, False))
-        for one in share.work:
-            self._replace(teller, one)
-        self._settle(teller, share.grant, now)
-
-    def grant(self, vm: VmId, token: int, now: float) -> Grant:
-        """Count a flow that another VM is about to open at a server."""
-        self.granted += 1
-        until = now + self.settings.grant_s
-        granted = Grant(self.granted, token, until)
-        self._teller(vm, now).grants.append(granted)
-        self._add(token, 1, 1, 0)
-        return granted
-
-    def sweep(self, now: float) -> None:
-        """Forget VMs that fell silent and grants that came to nothing."""
-        limit = now - self.settings.shared_for_s
-        for vm, teller in list(self.tellers.items()):
-            self._settle(teller, 0, now)
-            if teller.heard_at < limit and not teller.grants:
-                for one in list(teller.work.values()):
-                    self._replace(teller, SharedWork(one.token, 0, 0, False))
-                del self.tellers[vm]
-
-    def _teller(self, vm: VmId, now: float) -> Teller:
-        teller = self.tellers.get(vm)
-        if teller is None:
-            teller = self.tellers[vm] = Teller()
-            teller.heard_at = now
-        return teller
-
-    def _replace(self, teller: Teller, work: SharedWork) -> None:
-        former = teller.work.pop(work.token, None)
-        if former is not None:
-            self._add(work.token, -former.busy, -former.open, -former.is_avoided)
-        if work.busy or work.open or work.is_avoided:
-            teller.work[work.token] = work
-            self._add(work.token, work.busy, work.open, int(work.is_avoided))
-
-    def _settle(self, teller: Teller, grant: int, now: float) -> None:
-        kept = []
-        for one in teller.grants:
-            if one.number <= grant or one.until <= now:
-                self._add(one.token, -1, -1, 0)
+        peer.last_report_number = report.number
+        peer.last_report_at = now
+        if report.is_complete:
+            listed_tokens = {load.token for load in report.server_loads}
+            for token in [
+                token for token in peer.server_loads if token not in listed_tokens
+            ]:
+                self._replace_load(peer, ServerLoad(token, 0, 0, False))
+        for load in report.server_loads:
+            self._replace_load(peer, load)
+        self._release_reservations(peer, report.included_reservation, now)
+
+    def reserve(self, vm: VmId, token: int, now: float) -> Reservation:
+        """Reserve capacity for a flow that another VM is about to open."""
+        self.reservation_count += 1
+        expires_at = now + self.settings.reservation_timeout_s
+        reservation = Reservation(self.reservation_count, token, expires_at)
+        self._reporting_peer(vm, now).reservations.append(reservation)
+        self._add_to_total(token, 1, 1, 0)
+        return reservation
+
+    def remove_expired(self, now: float) -> None:
+        """Remove VMs that stopped reporting, and expired reservations."""
+        oldest_allowed = now - self.settings.load_report_expiry_s
+        for vm, peer in list(self.reporting_peers.items()):
+            self._release_reservations(peer, 0, now)
+            if peer.last_report_at < oldest_allowed and not peer.reservations:
+                for load in list(peer.server_loads.values()):
+                    self._replace_load(peer, ServerLoad(load.token, 0, 0, False))
+                del self.reporting_peers[vm]
+
+    def _reporting_peer(self, vm: VmId, now: float) -> ReportingPeer:
+        peer = self.reporting_peers.get(vm)
+        if peer is None:
+            peer = self.reporting_peers[vm] = ReportingPeer()
+            peer.last_report_at = now
+        return peer
+
+    def _replace_load(self, peer: ReportingPeer, load: ServerLoad) -> None:
+        previous = peer.server_loads.pop(load.token, None)
+        if previous is not None:
+            self._add_to_total(
+                load.token,
+                -previous.active_requests,
+                -previous.open_flows,
+                -previous.is_avoided,
+            )
+        if load.active_requests or load.open_flows or load.is_avoided:
+            peer.server_loads[load.token] = load
+            self._add_to_total(
+                load.token, load.active_requests, load.open_flows, int(load.is_avoided)
+            )
+
+    def _release_reservations(
+        self, peer: ReportingPeer, included_reservation: int, now: float
+    ) -> None:
+        remaining = []
+        for reservation in peer.reservations:
+            if (
+                reservation.number <= included_reservation
+                or reservation.expires_at <= now
+            ):
+                self._add_to_total(reservation.token, -1, -1, 0)
             else:
-                kept.append(one)
-        teller.grants = kept
+                remaining.append(reservation)
+        peer.reservations = remaining
 
-    def _add(self, token: int, busy: int, open_flows: int, avoided: int) -> None:
+    def _add_to_total(
+        self, token: int, active_requests: int, open_flows: int, avoiding_vms: int
+    ) -> None:
         total = self.totals.get(token)
         if total is None:
-            total = self.totals[token] = Total()
-        total.busy += busy
-        total.open += open_flows
-        total.avoided += avoided
-        if not (total.busy or total.open or total.avoided):
+            total = self.totals[token] = PeerLoadTotal()
+        total.active_requests += active_requests
+        total.open_flows += open_flows
+        total.avoiding_vms += avoiding_vms
+        if not (total.active_requests or total.open_flows or total.avoiding_vms):
             del self.totals[token]
 
 
-class Telling:
-    """What one VM that places flows was told last.
+class OutgoingReports:
+    """State of the load reports to one other VM.
 
     Attributes:
-        work: The work told, by token.
-        grant: Its latest grant that was used here.
-        told_grant: The grant told last.
-        whole_at: When it was told all, in steady seconds.
+        reported_loads: Load last reported, by token.
+        used_reservation: Number of the receiver's latest reservation that was used
+            here.
+        reported_reservation: Reservation number in the latest report.
+        last_complete_at: Time of the latest complete report, in monotonic seconds.
     """
 
     def __init__(self) -> None:
-        self.work: dict[int, SharedWork] = {}
-        self.grant = 0
-        self.told_grant = 0
-        self.whole_at = float("-inf")
+        self.reported_loads: dict[int, ServerLoad] = {}
+        self.used_reservation = 0
+        self.reported_reservation = 0
+        self.last_complete_at = float("-inf")
 
-    def news(
+    def next_report(
         self,
-        me: VmId,
+        sender: VmId,
         number: int,
-        work: Iterable[SharedWork],
+        server_loads: Iterable[ServerLoad],
         now: float,
-        every: float,
+        complete_interval_s: float,
     ) -> LoadShare | None:
-        """Return what is to be told now, None for nothing.
+        """Return the load report to send now, None if there is nothing to report.
 
         Args:
-            me: This VM.
-            number: Number of the message.
-            work: All the work that concerns the other VM.
-            now: Steady seconds.
-            every: Seconds after which all is told again, as messages may get lost.
+            sender: This VM.
+            number: Number of the report.
+            server_loads: Current load on all servers that concern the receiver.
+            now: Current time in monotonic seconds.
+            complete_interval_s: Seconds between complete reports, which make up for
+                lost ones.
         """
-        current = {one.token: one for one in work}
-        is_whole = now - self.whole_at >= every
-        if is_whole:
-            self.whole_at = now
-            news = tuple(current.values())
+        current_loads = {load.token: load for load in server_loads}
+        is_complete = now - self.last_complete_at >= complete_interval_s
+        if is_complete:
+            self.last_complete_at = now
+            loads_to_report = tuple(current_loads.values())
         else:
-            gone = [SharedWork(one, 0, 0, False) for one in self.work.keys() - current]
-            changed = [
-                one for token, one in current.items() if self.work.get(token) != one
+            removed_loads = [
+                ServerLoad(token, 0, 0, False)
+                for token in self.reported_loads.keys() - current_loads
+            ]
+            changed_loads = [
+                load
+                for token, load in current_loads.items()
+                if self.reported_loads.get(token) != load
             ]
-            news = (*changed, *gone)
-        self.work = current
-        if not (is_whole or news or self.grant != self.told_grant):
+            loads_to_report = (*changed_loads, *removed_loads)
+        self.reported_loads = current_loads
+        if not (
+            is_complete
+            or loads_to_report
+            or self.used_reservation != self.reported_reservation
+        ):
             return None
-        self.told_grant = self.grant
-        return LoadShare(me, number, is_whole, self.grant, news)
+        self.reported_reservation = self.used_reservation
+        return LoadShare(
+            sender, number, is_complete, self.used_reservation, loads_to_report
+        )
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -5,116 +5,147 @@
 from hypothesis import strategies as st
 
 from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.work import LoadShare, SharedWork, Telling, ZoneWork
+from kumquatmux_tokens.work import LoadShare, OutgoingReports, PeerLoad, ServerLoad
 
 SETTINGS = TokenSettings("e1", "a")
 
 
 @pytest.fixture
-def zone():
-    return ZoneWork(SETTINGS)
+def peer_load():
+    return PeerLoad(SETTINGS)
+
+
+def make_report(
+    *server_loads, sender="e2", number=1, is_complete=True, included_reservation=0
+):
+    return LoadShare(sender, number, is_complete, included_reservation, server_loads)
+
+
+def make_server_load(token, active_requests=1, open_flows=1, is_avoided=False):
+    return ServerLoad(token, active_requests, open_flows, is_avoided)
+
+
+def load_totals(peer_load):
+    return {
+        token: (total.active_requests, total.open_flows)
+        for token, total in peer_load.totals.items()
+    }
+
 
-
-def share(*work, sender="e2", number=1, is_whole=True, grant=0):
-    return LoadShare(sender, number, is_whole, grant, work)
-
-
-def work(token, busy=1, open_flows=1, is_avoided=False):
-    return SharedWork(token, busy, open_flows, is_avoided)
-
-
-def sums(zone):
-    return {token: (one.busy, one.open) for token, one in zone.totals.items()}
-
-
-def test_work_is_summed_over_the_vms_that_tell(zone):
-    zone.take(share(work(7, 2, 5)), 1.0)
-    zone.take(share(work(7, 1, 1), work(8), sender="e3"), 1.0)
-    assert sums(zone) == {7: (3, 6), 8: (1, 1)}
-
-
-def test_a_whole_message_replaces_all_that_was_told(zone):
-    zone.take(share(work(7), work(8)), 1.0)
-    zone.take(share(work(8, 3, 4), number=2), 1.1)
-    assert sums(zone) == {8: (3, 4)}
-
-
-def test_news_change_only_what_they_name(zone):
-    zone.take(share(work(7), work(8)), 1.0)
-    zone.take(share(work(8, 0, 0), number=2, is_whole=False), 1.1)
-    assert sums(zone) == {7: (1, 1)}
-
-
-def test_a_message_that_was_overtaken_changes_nothing(zone):
-    zone.take(share(work(7, 5, 5), number=9), 1.0)
-    zone.take(share(work(7, 1, 1), number=8, is_whole=False), 1.1)
-    assert sums(zone) == {7: (5, 5)}
-
-
-def test_a_new_process_of_a_vm_starts_its_numbers_anew(zone):
-    zone.take(share(work(7), number=900), 1.0)
-    zone.take(share(work(8), number=1), 1.1)
-    assert sums(zone) == {8: (1, 1)}
-
-
-def test_a_granted_flow_counts_until_its_vm_tells_of_it(zone):
-    granted = zone.grant("e2", 7, 1.0)
-    assert sums(zone) == {7: (1, 1)}
-    zone.take(share(work(7), grant=granted.number), 1.05)
-    assert sums(zone) == {7: (1, 1)}
-    zone.take(share(number=2, grant=granted.number), 1.1)
-    assert sums(zone) == {}
-
-
-def test_a_grant_that_came_to_nothing_counts_for_a_moment(zone):
-    zone.grant("e2", 7, 1.0)
-    zone.sweep(1.4)
-    assert sums(zone) == {7: (1, 1)}
-    zone.sweep(1.6)
-    assert sums(zone) == {}
-
-
-def test_a_vm_that_fell_silent_is_forgotten_with_its_work(zone):
-    zone.take(share(work(7)), 1.0)
-    zone.sweep(2.5)
-    assert sums(zone) == {7: (1, 1)}
-    zone.sweep(2.7)
-    assert (sums(zone), zone.tellers) == ({}, {})
-
-
-def test_only_changes_are_told_until_all_is_due_again():
-    telling = Telling()
-    first = telling.news("e1", 1, [work(7), work(8)], 1.0, 0.7)
-    assert first.is_whole and len(first.work) == 2
-    assert telling.news("e1", 2, [work(7), work(8)], 1.1, 0.7) is None
-    news = telling.news("e1", 2, [work(7, 2, 2)], 1.2, 0.7)
-    assert set(news.work) == {work(7, 2, 2), work(8, 0, 0)}
-    assert not news.is_whole
-    assert telling.news("e1", 3, [work(7, 2, 2)], 1.8, 0.7).is_whole
-
-
-def test_a_grant_that_was_used_is_told_though_no_work_changed():
-    telling = Telling()
-    telling.news("e1", 1, [], 1.0, 0.7)
-    telling.grant = 4
-    assert telling.news("e1", 2, [], 1.1, 0.7).grant == 4
-    assert telling.news("e1", 3, [], 1.2, 0.7) is None
-
-
-counts = st.integers(0, 3)
-states = st.dictionaries(st.integers(1, 5), st.tuples(counts, counts), max_size=5)
-
-
-@given(st.lists(st.tuples(states, st.booleans()), min_size=1, max_size=12))
-def test_whatever_gets_lost_the_next_whole_message_mends(steps):
-    zone, telling = ZoneWork(SETTINGS), Telling()
+def test_load_is_summed_over_the_reporting_vms(peer_load):
+    peer_load.take(make_report(make_server_load(7, 2, 5)), 1.0)
+    peer_load.take(
+        make_report(make_server_load(7, 1, 1), make_server_load(8), sender="e3"), 1.0
+    )
+    assert load_totals(peer_load) == {7: (3, 6), 8: (1, 1)}
+
+
+def test_complete_report_replaces_the_earlier_load(peer_load):
+    peer_load.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
+    peer_load.take(make_report(make_server_load(8, 3, 4), number=2), 1.1)
+    assert load_totals(peer_load) == {8: (3, 4)}
+
+
+def test_incremental_report_changes_only_the_listed_servers(peer_load):
+    peer_load.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
+    peer_load.take(
+        make_report(make_server_load(8, 0, 0), number=2, is_complete=False), 1.1
+    )
+    assert load_totals(peer_load) == {7: (1, 1)}
+
+
+def test_overtaken_report_is_ignored(peer_load):
+    peer_load.take(make_report(make_server_load(7, 5, 5), number=9), 1.0)
+    peer_load.take(
+        make_report(make_server_load(7, 1, 1), number=8, is_complete=False), 1.1
+    )
+    assert load_totals(peer_load) == {7: (5, 5)}
+
+
+def test_restarted_process_may_restart_its_report_numbers(peer_load):
+    peer_load.take(make_report(make_server_load(7), number=900), 1.0)
+    peer_load.take(make_report(make_server_load(8), number=1), 1.1)
+    assert load_totals(peer_load) == {8: (1, 1)}
+
+
+def test_reservation_counts_until_a_report_includes_it(peer_load):
+    reservation = peer_load.reserve("e2", 7, 1.0)
+    assert load_totals(peer_load) == {7: (1, 1)}
+    peer_load.take(
+        make_report(make_server_load(7), included_reservation=reservation.number), 1.05
+    )
+    assert load_totals(peer_load) == {7: (1, 1)}
+    peer_load.take(make_report(number=2, included_reservation=reservation.number), 1.1)
+    assert load_totals(peer_load) == {}
+
+
+def test_unused_reservation_expires(peer_load):
+    peer_load.reserve("e2", 7, 1.0)
+    peer_load.remove_expired(1.4)
+    assert load_totals(peer_load) == {7: (1, 1)}
+    peer_load.remove_expired(1.6)
+    assert load_totals(peer_load) == {}
+
+
+def test_silent_vm_is_removed_with_its_load(peer_load):
+    peer_load.take(make_report(make_server_load(7)), 1.0)
+    peer_load.remove_expired(2.5)
+    assert load_totals(peer_load) == {7: (1, 1)}
+    peer_load.remove_expired(2.7)
+    assert (load_totals(peer_load), peer_load.reporting_peers) == ({}, {})
+
+
+def test_reports_are_incremental_until_a_complete_one_is_due():
+    reports = OutgoingReports()
+    first_report = reports.next_report(
+        "e1", 1, [make_server_load(7), make_server_load(8)], 1.0, 0.7
+    )
+    assert first_report.is_complete and len(first_report.server_loads) == 2
+    assert (
+        reports.next_report(
+            "e1", 2, [make_server_load(7), make_server_load(8)], 1.1, 0.7
+        )
+        is None
+    )
+    report = reports.next_report("e1", 2, [make_server_load(7, 2, 2)], 1.2, 0.7)
+    assert set(report.server_loads) == {
+        make_server_load(7, 2, 2),
+        make_server_load(8, 0, 0),
+    }
+    assert not report.is_complete
+    assert reports.next_report(
+        "e1", 3, [make_server_load(7, 2, 2)], 1.8, 0.7
+    ).is_complete
+
+
+def test_used_reservation_is_reported_without_load_changes():
+    reports = OutgoingReports()
+    reports.next_report("e1", 1, [], 1.0, 0.7)
+    reports.used_reservation = 4
+    assert reports.next_report("e1", 2, [], 1.1, 0.7).included_reservation == 4
+    assert reports.next_report("e1", 3, [], 1.2, 0.7) is None
+
+
+load_counts = st.integers(0, 3)
+load_states = st.dictionaries(
+    st.integers(1, 5), st.tuples(load_counts, load_counts), max_size=5
+)
+
+
+@given(st.lists(st.tuples(load_states, st.booleans()), min_size=1, max_size=12))
+def test_complete_report_corrects_lost_reports(steps):
+    peer_load, reports = PeerLoad(SETTINGS), OutgoingReports()
     now = 0.0
-    for number, (state, is_lost) in enumerate(steps, 1):
+    for number, (load_state, is_lost) in enumerate(steps, 1):
         now += 0.05
-        told = [work(token, *pair) for token, pair in state.items()]
-        news = telling.news("e1", number, told, now, 0.7)
-        if news is not None and not is_lost:
-            zone.take(news, now)
-    whole = telling.news("e1", len(steps) + 1, told, now + 0.7, 0.7)
-    zone.take(whole, now + 0.7)
-    assert sums(zone) == {token: pair for token, pair in state.items() if any(pair)}
+        loads = [
+            make_server_load(token, *counts) for token, counts in load_state.items()
+        ]
+        report = reports.next_report("e1", number, loads, now, 0.7)
+        if report is not None and not is_lost:
+            peer_load.take(report, now)
+    complete_report = reports.next_report("e1", len(steps) + 1, loads, now + 0.7, 0.7)
+    peer_load.take(complete_report, now + 0.7)
+    assert load_totals(peer_load) == {
+        token: counts for token, counts in load_state.items() if any(counts)
+    }
