--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -1,4 +1,4 @@
-"""Records that travel in paced batches, for flows whose packets do not bring them."""
+"""Rate-limited batches of records for flows whose packets do not carry them."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
-from kumquatmux_flows.bindings import Bindings
+from kumquatmux_flows.bindings import BindingStore
 from kumquatmux_flows.events import ResetServer, SendMessage
 from kumquatmux_flows.messages import (
     BatchStored,
@@ -15,242 +15,278 @@
     RecordBatch,
 )
 from kumquatmux_flows.refusals import Refusal
-from kumquatmux_flows.routes import place_of
+from kumquatmux_flows.routes import service_key_of
 from kumquatmux_flows.silence import Silence
 from kumquatmux_flows.state import FlowState
-from kumquatmux_flows.table import WAS_RESET, FlowStatus, Mark, Role
+from kumquatmux_flows.table import WAS_RESET, FlowFlag, FlowStatus, Role
 
 RECORD_BYTES = 56
-BATCH_BYTES = 24
+"""Bytes that a record takes from the budget."""
+BATCH_HEADER_BYTES = 24
+"""Bytes that a batch takes from the budget in addition to its records."""
 BURST_SECONDS = 1.0
-WAITING_LIMIT = 20_000
+"""Time for which unused budget accumulates."""
+DEFERRED_SLOT_LIMIT = 20_000
 
 
 class SentBatch(NamedTuple):
-    """A batch that is not confirmed yet.
+    """A batch that is not yet confirmed.
 
     Attributes:
-        vm: Who was sent it.
-        until: When it is given up, in seconds.
-        records: What it carried.
+        vm: VM that the batch was sent to.
+        expires_at: Time in seconds at which the batch is given up.
+        records: Records of the batch.
     """
 
     vm: VmId
-    until: float
+    expires_at: float
     records: tuple[FlowRecord, ...]
 
 
-class Batches:
-    """Sends and takes batches of records within a budget of bytes.
+class BatchExchange:
+    """Sends and receives batches of records within a byte budget.
 
     Attributes:
-        sent: Batches that wait for their confirmation, by number.
-        bytes_left: What may be sent now.
+        byte_budget: Bytes that may be sent now.
+        last_batch_number: Number of the last batch sent.
+        unconfirmed_batches: Unconfirmed batches by number.
+        open_batches: Records of the batches being filled, by receiver.
+        deferred_slots: Slots that wait for budget, in the order of their deferral.
+        deferred_set: The deferred slots as a set.
     """
 
-    def __init__(self, state: FlowState, bindings: Bindings, silence: Silence) -> None:
+    def __init__(
+        self, state: FlowState, binding_store: BindingStore, silence_detector: Silence
+    ) -> None:
         self.state = state
-        self.bindings = bindings
-        self.silence = silence
-        self.bytes_left = 0.0
-        self.number = 0
-        self.sent: dict[int, SentBatch] = {}
-        self.open: dict[VmId, list[FlowRecord]] = {}
-        self.line: deque[int] = deque()
-        self.waiting: set[int] = set()
-
-    def refill(self, elapsed: float) -> None:
-        """Add to the budget what the time allows."""
+        self.binding_store = binding_store
+        self.silence_detector = silence_detector
+        self.byte_budget = 0.0
+        self.last_batch_number = 0
+        self.unconfirmed_batches: dict[int, SentBatch] = {}
+        self.open_batches: dict[VmId, list[FlowRecord]] = {}
+        self.deferred_slots: deque[int] = deque()
+        self.deferred_set: set[int] = set()
+
+    def refill_budget(self, elapsed: float) -> None:
+        """Refill the byte budget for an elapsed time in seconds."""
         rate = self.state.settings.repair_bytes_per_second
-        full = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_BYTES)
-        self.bytes_left = min(self.bytes_left + rate * elapsed, full)
-
-    def flush_all(self, now: float) -> None:
-        """Send every batch that has begun."""
-        for vm in list(self.open):
-            self.flush(vm, now)
-
-    def collect(self, slot: int, vm: VmId, now: float) -> None:
-        """Add a record to the batch for a VM, if the budget allows."""
-        if self.bytes_left < RECORD_BYTES:
-            self.wait(slot)
+        max_budget = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_HEADER_BYTES)
+        self.byte_budget = min(self.byte_budget + rate * elapsed, max_budget)
+
+    def send_open_batches(self, now: float) -> None:
+        """Send all batches that hold records."""
+        for vm in list(self.open_batches):
+            self.send_batch(vm, now)
+
+    def add_to_batch(self, slot: int, vm: VmId, now: float) -> None:
+        """Add a record to the batch for a VM, or defer it for lack of budget."""
+        if self.byte_budget < RECORD_BYTES:
+            self.defer_slot(slot)
             return
-        batch = self.open.setdefault(vm, [])
-        self.bytes_left -= RECORD_BYTES + (0 if batch else BATCH_BYTES)
-        batch.append(self.record(slot, now))
-        if len(batch) >= self.state.settings.batch_records:
-            self.flush(vm, now)
-
-    def wait(self, slot: int) -> None:
-        """Remember a slot whose record the budget does not allow yet."""
-        if slot not in self.waiting and len(self.waiting) < WAITING_LIMIT:
-            self.waiting.add(slot)
-            self.line.append(slot)
-
-    def next_waiting(self) -> int | None:
-        """Return the slot that has waited longest, if the budget allows its record."""
-        if not self.line or self.bytes_left < RECORD_BYTES:
+        batch = self.open_batches.setdefault(vm, [])
+        self.byte_budget -= RECORD_BYTES + (0 if batch else BATCH_HEADER_BYTES)
+        batch.append(self.build_record(slot, now))
+        if len(batch) >= self.state.settings.batch_record_limit:
+            self.send_batch(vm, now)
+
+    def defer_slot(self, slot: int) -> None:
+        """Defer a slot whose record exceeds the budget."""
+        if (
+            slot not in self.deferred_set
+            and len(self.deferred_set) < DEFERRED_SLOT_LIMIT
+        ):
+            self.deferred_set.add(slot)
+            self.deferred_slots.append(slot)
+
+    def next_deferred_slot(self) -> int | None:
+        """Remove and return the first deferred slot if the budget allows its record."""
+        if not self.deferred_slots or self.byte_budget < RECORD_BYTES:
             return None
-        slot = self.line.popleft()
-        self.waiting.discard(slot)
+        slot = self.deferred_slots.popleft()
+        self.deferred_set.discard(slot)
         return slot
 
-    def record(self, slot: int, now: float) -> FlowRecord:
-        """Return a record as it travels in a batch."""
+    def build_record(self, slot: int, now: float) -> FlowRecord:
+        """Build the message form of the record in a slot.
+
+        Raises:
+            ValueError: The slot is free.
+        """
         state = self.state
         table = state.table
         key = table.keys[slot]
         if key is None:
-            raise ValueError(f"slot {slot} holds no flow")
+            raise ValueError(f"slot {slot} holds no flow record")
         return FlowRecord(
             key,
-            state.address_of(slot),
-            state.name_of(slot),
+            state.server_address_of(slot),
+            state.service_name_of(slot),
             table.revisions[slot],
             table.epochs[slot],
             table.statuses[slot],
-            int(max(self.state.idle(slot, now), 0.0)),
+            int(max(self.state.idle_seconds(slot, now), 0.0)),
             table.server_acks[slot],
             table.server_nexts[slot],
         )
 
-    def flush(self, vm: VmId, now: float) -> None:
+    def send_batch(self, vm: VmId, now: float) -> None:
         """Send the batch for a VM."""
-        records = tuple(self.open.pop(vm))
-        self.number += 1
-        until = now + self.state.settings.batch_timeout_seconds
-        self.sent[self.number] = SentBatch(vm, until, records)
-        self.state.out.append(SendMessage(vm, RecordBatch(self.number, records)))
+        records = tuple(self.open_batches.pop(vm))
+        self.last_batch_number += 1
+        expires_at = now + self.state.settings.batch_timeout_seconds
+        self.unconfirmed_batches[self.last_batch_number] = SentBatch(
+            vm, expires_at, records
+        )
+        self.state.out.append(
+            SendMessage(vm, RecordBatch(self.last_batch_number, records))
+        )
 
-    def end_batches(self, now: float) -> None:
+    def expire_batches(self, now: float) -> None:
         """Forget batches that were not confirmed in time."""
-        late = [number for number, sent in self.sent.items() if sent.until <= now]
-        for number in late:
-            del self.sent[number]
+        expired_numbers = [
+            number
+            for number, batch in self.unconfirmed_batches.items()
+            if batch.expires_at <= now
+        ]
+        for number in expired_numbers:
+            del self.unconfirmed_batches[number]
 
-    def take_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
-        """Keep the records another VM gives."""
-        better = []
+    def handle_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
+        """Store the records of a batch and confirm it."""
+        preferred_records = []
         for record in batch.records:
-            kept = self.take_record(record, now, trusted=False)
-            if kept is not None:
-                better.append(kept)
-        answer = BatchStored(batch.number, tuple(better))
-        self.state.out.append(SendMessage(sender, answer))
-
-    def take_record(
-        self, record: FlowRecord, now: float, *, trusted: bool
+            own_record = self.store_record(record, now, always_replace=False)
+            if own_record is not None:
+                preferred_records.append(own_record)
+        confirmation = BatchStored(batch.batch_number, tuple(preferred_records))
+        self.state.out.append(SendMessage(sender, confirmation))
+
+    def store_record(
+        self, record: FlowRecord, now: float, *, always_replace: bool
     ) -> FlowRecord | None:
-        """Keep one record, or return the better one that is here."""
+        """Store a record unless the record here wins over it.
+
+        Args:
+            record: Record from another VM.
+            now: Time in seconds.
+            always_replace: Whether the record replaces one with another server without
+                a comparison.
+
+        Returns:
+            The record here if it wins, otherwise None.
+        """
         state = self.state
         table = state.table
         slot = table.slots.get(record.key)
         if slot is not None and table.roles[slot] == Role.LEARNED:
             table.remove(slot)
             slot = None
-        if slot is not None and state.address_of(slot) != record.server:
-            if not trusted and not self.is_better(record, slot, now):
-                return self.record(slot, now)
-            self.lose(slot, now)
+        if slot is not None and state.server_address_of(slot) != record.server:
+            if not always_replace and not self.record_wins(record, slot, now):
+                return self.build_record(slot, now)
+            self.discard_record(slot, now)
             slot = None
         if slot is None:
-            slot = self.add(record, now)
+            slot = self.add_record(record, now)
         elif table.strikes[slot] == WAS_RESET:
-            self.silence.send_resets(slot, record.key, Refusal.SILENT)
+            self.silence_detector.send_resets(slot, record.key, Refusal.SILENT)
             return None
-        self.refresh(slot, record, now)
+        self.update_record(slot, record, now)
         return None
 
-    def is_better(self, record: FlowRecord, slot: int, now: float) -> bool:
-        """Return whether a record wins over the one here."""
+    def record_wins(self, record: FlowRecord, slot: int, now: float) -> bool:
+        """Return whether a record from another VM wins over the record in a slot."""
         state = self.state
         table = state.table
         status = table.statuses[slot]
-        if status == FlowStatus.CLOSED or not state.permits(slot):
+        if status == FlowStatus.CLOSED or not state.server_permitted(slot):
             return True
         if record.epoch != table.epochs[slot]:
             return record.epoch > table.epochs[slot]
-        opened = record.status != FlowStatus.HALF_OPEN
-        if opened != (status != FlowStatus.HALF_OPEN):
-            return opened
-        idle = int(max(self.state.idle(slot, now), 0.0))
-        if record.idle != idle:
-            return record.idle < idle
-        return record.server < state.address_of(slot)
-
-    def lose(self, slot: int, now: float) -> None:
-        """Drop the record that lost against another VM's."""
+        established = record.status != FlowStatus.HALF_OPEN
+        if established != (status != FlowStatus.HALF_OPEN):
+            return established
+        own_idle_seconds = int(max(self.state.idle_seconds(slot, now), 0.0))
+        if record.idle_seconds != own_idle_seconds:
+            return record.idle_seconds < own_idle_seconds
+        return record.server < state.server_address_of(slot)
+
+    def discard_record(self, slot: int, now: float) -> None:
+        """Remove the losing record and, if it was owned here, reset its server."""
         state = self.state
         key = state.table.keys[slot]
         was_owner = state.table.roles[slot] == Role.OWNER
-        is_tcp = state.table.statuses[slot] != FlowStatus.DATAGRAMS
-        if key is not None and was_owner and is_tcp and state.permits(slot):
+        is_tcp = state.table.statuses[slot] != FlowStatus.UDP_ACTIVE
+        if key is not None and was_owner and is_tcp and state.server_permitted(slot):
             seq = state.table.server_acks[slot]
-            state.out.append(ResetServer(key, state.address_of(slot), seq))
+            state.out.append(ResetServer(key, state.server_address_of(slot), seq))
         if was_owner:
-            self.bindings.drop_copy(slot)
-        state.forget(slot, Refusal.CONFLICT, now)
+            self.binding_store.drop_backup_copy(slot)
+        state.remove_flow(slot, Refusal.CONFLICT, now)
 
-    def take_lost(self, lost: LostRecord, now: float) -> None:
-        """Drop the second copy of a record that lost against another."""
+    def handle_lost_record(self, message: LostRecord, now: float) -> None:
+        """Remove the backup copy of a record that lost a conflict."""
         state = self.state
-        slot = state.table.slots.get(lost.key)
+        slot = state.table.slots.get(message.key)
         if slot is None or state.table.roles[slot] == Role.OWNER:
             return
-        if state.address_of(slot) == lost.server:
-            state.forget(slot, Refusal.CONFLICT, now)
+        if state.server_address_of(slot) == message.server:
+            state.remove_flow(slot, Refusal.CONFLICT, now)
 
-    def add(self, record: FlowRecord, now: float) -> int:
-        """Return the slot of a record that was not here."""
+    def add_record(self, record: FlowRecord, now: float) -> int:
+        """Add a record from another VM and return its slot."""
         state = self.state
         table = state.table
-        place = place_of(record.key)
-        service = state.routes.service(record.service, place)
-        server = state.routes.server(record.server, record.service)
-        slot = table.add(record.key, Role.COPY, server, service)
+        service_key = service_key_of(record.key)
+        service_number = state.routes.register_service(record.service, service_key)
+        server_number = state.routes.register_server(record.server, record.service)
+        slot = table.add(record.key, Role.BACKUP, server_number, service_number)
         table.statuses[slot] = record.status
         table.server_acks[slot] = record.server_ack
         table.caller_nexts[slot] = record.server_ack
         table.server_nexts[slot] = record.caller_ack
-        table.caller_times[slot] = now - record.idle
+        table.caller_times[slot] = now - record.idle_seconds
         if record.caller_ack:
-            table.marks[slot] |= Mark.SERVER_SEEN
+            table.flow_flags[slot] |= FlowFlag.SERVER_NEXT_KNOWN
         return slot
 
-    def refresh(self, slot: int, record: FlowRecord, now: float) -> None:
-        """Bring a record here up to date with one from its owner."""
+    def update_record(self, slot: int, record: FlowRecord, now: float) -> None:
+        """Update the record in a slot from a record of another VM."""
         table = self.state.table
         table.epochs[slot] = max(table.epochs[slot], record.epoch)
         table.revisions[slot] = max(table.revisions[slot], record.revision)
-        table.copy_times[slot] = now
+        table.backup_times[slot] = now
         if table.statuses[slot] == FlowStatus.HALF_OPEN:
             table.statuses[slot] = record.status
-        place = self.state.routes.places[table.services[slot]]
-        if self.state.ranking.owns(place):
-            self.state.adopt(slot, "handed-over")
-
-    def take_confirmation(self, sender: VmId, stored: BatchStored, now: float) -> None:
-        """Note that another VM keeps the records of a batch."""
-        sent = self.sent.pop(stored.number, None)
-        if sent is None or sent.vm != sender:
+        service_key = self.state.routes.service_keys[table.services[slot]]
+        if self.state.ranking.owns(service_key):
+            self.state.take_ownership(slot, "handed-over")
+
+    def handle_batch_stored(
+        self, sender: VmId, confirmation: BatchStored, now: float
+    ) -> None:
+        """Handle the confirmation of a batch by its receiver."""
+        batch = self.unconfirmed_batches.pop(confirmation.batch_number, None)
+        if batch is None or batch.vm != sender:
             return
-        better = {record.key for record in stored.better}
-        for record in sent.records:
+        preferred_keys = {record.key for record in confirmation.preferred_records}
+        for record in batch.records:
             slot = self.state.table.slots.get(record.key)
-            if slot is not None and record.key not in better:
-                self.confirm(slot, sender, now)
-        for record in stored.better:
-            self.take_record(record, now, trusted=True)
+            if slot is not None and record.key not in preferred_keys:
+                self.confirm_record(slot, sender, now)
+        for record in confirmation.preferred_records:
+            self.store_record(record, now, always_replace=True)
 
-    def confirm(self, slot: int, vm: VmId, now: float) -> None:
-        """Note that a VM keeps one record."""
+    def confirm_record(self, slot: int, vm: VmId, now: float) -> None:
+        """Mark a record as stored by a VM, and release ownership to a new owner."""
         state = self.state
         table = state.table
-        table.copy_times[slot] = now
+        table.backup_times[slot] = now
         if table.roles[slot] != Role.OWNER:
             return
-        table.copies[slot] = state.ranking.number(vm)
-        table.marks[slot] |= Mark.CONFIRMED
-        place = state.routes.places[table.services[slot]]
-        if state.ranking.rank(place)[:1] == [vm]:
-            state.yield_role(slot, Role.COPY, "owner-moved")
+        table.backup_vms[slot] = state.ranking.vm_number(vm)
+        table.flow_flags[slot] |= FlowFlag.BACKUP_CONFIRMED
+        service_key = state.routes.service_keys[table.services[slot]]
+        if state.ranking.rank(service_key)[:1] == [vm]:
+            state.release_ownership(slot, Role.BACKUP, "owner-moved")
--- a/libs/flows/src/kumquatmux_flows/placing.py
+++ b/libs/flows/src/kumquatmux_flows/placing.py
@@ -1,4 +1,4 @@
-"""New flows: held once while a server is chosen, then bound or refused."""
+"""Placement of new flows, whose packets are held until a server is chosen."""
 
 from __future__ import annotations
 
@@ -13,93 +13,100 @@
     ResetCaller,
 )
 from kumquatmux_flows.refusals import Refusal
-from kumquatmux_flows.state import FlowState, Grace, Pending
-from kumquatmux_flows.table import FlowStatus, Mark, Role
+from kumquatmux_flows.state import FlowState, PendingFlow, ProvisionalSlot
+from kumquatmux_flows.table import FlowFlag, FlowStatus, Role
 
 
 class Placing:
-    """Asks for servers; nothing of a held flow has been forwarded."""
+    """Requests servers for new flows; no packet of a held flow is forwarded."""
 
     def __init__(self, state: FlowState) -> None:
         self.state = state
 
-    def while_pending(self, segment: Segment) -> None:
-        """Handle a further packet of a flow that waits for placement."""
+    def handle_pending_packet(self, segment: Segment) -> None:
+        """Handle another packet of a flow that waits for placement."""
         state = self.state
         pending = state.pending[segment.key]
         if segment.flags & FLAG_RST:
             del state.pending[segment.key]
             state.out.append(CancelPlacement(segment.key))
-            state.say("flow-cancelled", segment.key, "none", "reset-by-caller")
+            state.log_decision("flow-cancelled", segment.key, "none", "reset-by-caller")
         elif segment.is_tcp:
-            state.drop(Refusal.DUPLICATE)
-        elif len(pending.segments) < state.settings.held_datagrams:
+            state.drop_packet(Refusal.DUPLICATE_FIRST_PACKET)
+        elif len(pending.segments) < state.settings.held_datagram_limit:
             pending.segments.append(segment)
         else:
-            state.drop(Refusal.HELD_FULL)
+            state.drop_packet(Refusal.HELD_FULL)
 
-    def ask_placement(self, segment: Segment, epoch: int) -> None:
-        """Hold the first packet of a flow and ask for a server."""
+    def request_placement(self, segment: Segment, epoch: int) -> None:
+        """Hold the first packet of a flow and request a server for it."""
         state = self.state
-        service = state.service_of(segment.key)
-        if service is None:
+        service_number = state.current_service_of(segment.key)
+        if service_number is None:
             self.refuse_unknown_service(segment)
-        elif state.table.kept >= state.settings.flow_limit:
-            state.refuse(segment, Refusal.TABLE_FULL)
-        elif len(state.pending) >= state.settings.pending_limit:
-            state.refuse(segment, Refusal.TABLE_FULL)
+        elif state.table.retained_count >= state.settings.flow_limit:
+            state.refuse_flow(segment, Refusal.TABLE_FULL)
+        elif len(state.pending) >= state.settings.pending_flow_limit:
+            state.refuse_flow(segment, Refusal.TABLE_FULL)
         else:
-            state.pending[segment.key] = Pending([segment], service, epoch)
-            state.out.append(AskPlacement(segment.key, state.routes.names[service]))
+            state.pending[segment.key] = PendingFlow([segment], service_number, epoch)
+            state.out.append(
+                AskPlacement(segment.key, state.routes.service_names[service_number])
+            )
 
     def refuse_unknown_service(self, segment: Segment) -> None:
-        """Refuse a packet for a service address that is not in force here."""
+        """Refuse a packet to a service address that is not in force on this VM."""
         state = self.state
         if state.routes.revision < 0:
-            state.drop(Refusal.TABLE_STALE)
+            state.drop_packet(Refusal.TABLE_STALE)
             return
-        state.refuse(segment, Refusal.SERVICE_UNKNOWN)
+        state.refuse_flow(segment, Refusal.SERVICE_UNKNOWN)
 
-    def misplaced(self, event: FlowPlaced, pending: Pending) -> None:
-        """Ask again when the chosen server may not get the flow; nothing was sent."""
+    def retry_placement(self, event: FlowPlaced, pending: PendingFlow) -> None:
+        """Request another server if the chosen one may not get the flow.
+
+        After the last attempt the held packets are refused. None of them was forwarded.
+        """
         state = self.state
-        name = state.routes.names[pending.service]
+        service_name = state.routes.service_names[pending.service]
         state.out.append(FlowClosed(event.key, event.server))
-        state.refresh(Refusal.SERVER_GONE, name, event.server)
+        state.request_route_refresh(Refusal.SERVER_GONE, service_name, event.server)
         if pending.attempts < state.settings.placement_attempts:
-            retry = pending._replace(attempts=pending.attempts + 1)
-            state.pending[event.key] = retry
-            state.out.append(AskPlacement(event.key, name))
+            next_attempt = pending._replace(attempts=pending.attempts + 1)
+            state.pending[event.key] = next_attempt
+            state.out.append(AskPlacement(event.key, service_name))
             return
         for segment in pending.segments:
-            state.refuse(segment, Refusal.SERVER_GONE)
+            state.refuse_flow(segment, Refusal.SERVER_GONE)
 
     def refused(self, event: FlowRefused) -> None:
-        """Tell the caller that placement has no server for its flow."""
+        """Reset the caller of a flow whose placement was refused."""
         pending = self.state.pending.pop(event.key, None)
         if pending is None:
             return
         for segment in pending.segments:
             self.state.out.append(ResetCaller(segment, event.reason))
-        self.state.say("flow-refused", event.key, "none", event.reason)
+        self.state.log_decision("flow-refused", event.key, "none", event.reason)
 
-    def new_record(self, key: FlowKey, server: int, pending: Pending) -> int:
-        """Return the slot of a flow that this VM placed."""
+    def add_placed_record(
+        self, key: FlowKey, server_number: int, pending: PendingFlow
+    ) -> int:
+        """Add the record of a flow that this VM placed and return its slot."""
         state = self.state
         table = state.table
-        old = table.slots.get(key)
-        if old is not None:
-            table.remove(old)
-        slot = table.add(key, Role.OWNER, server, pending.service)
+        old_slot = table.slots.get(key)
+        if old_slot is not None:
+            table.remove(old_slot)
+        slot = table.add(key, Role.OWNER, server_number, pending.service)
         table.epochs[slot] = pending.epoch
         table.revisions[slot] = max(state.routes.revision, 0)
-        table.marks[slot] = Mark.PLACED
+        table.flow_flags[slot] = FlowFlag.PLACED_HERE
         if not pending.segments[0].is_tcp:
-            table.statuses[slot] = FlowStatus.DATAGRAMS
+            table.statuses[slot] = FlowStatus.UDP_ACTIVE
         return slot
 
-    def bind(self, event: FlowPlaced, now: float) -> list[Segment]:
-        """Bind a flow to the server placement chose.
+    def bind_flow(self, event: FlowPlaced, now: float) -> list[Segment]:
+        """Bind a flow to the server that placement chose.
 
         Returns:
             The held packets to forward, none if the flow is not bound.
@@ -109,14 +116,18 @@
         if pending is None:
             state.out.append(FlowClosed(event.key, event.server))
             return []
-        server = state.routes.server(event.server, state.routes.names[pending.service])
-        if not state.routes.permits_new(server, pending.service):
-            self.misplaced(event, pending)
+        server_number = state.routes.register_server(
+            event.server, state.routes.service_names[pending.service]
+        )
+        if not state.routes.permits_new_flow(server_number, pending.service):
+            self.retry_placement(event, pending)
             return []
-        slot = self.new_record(event.key, server, pending)
-        state.say_slot("flow-placed", slot, "placement")
+        slot = self.add_placed_record(event.key, server_number, pending)
+        state.log_record("flow-placed", slot, "placement")
         state.start_work(slot)
-        state.table.marks[slot] |= Mark.PROVISIONAL
-        until = now + state.settings.opening_grace_seconds
-        state.graces.append(Grace(until, event.key, pending.epoch))
+        state.table.flow_flags[slot] |= FlowFlag.WORK_PROVISIONAL
+        expires_at = now + state.settings.provisional_slot_seconds
+        state.provisional_slots.append(
+            ProvisionalSlot(expires_at, event.key, pending.epoch)
+        )
         return pending.segments
--- a/libs/flows/src/kumquatmux_flows/table.py
+++ b/libs/flows/src/kumquatmux_flows/table.py
@@ -1,4 +1,4 @@
-"""Flow records in rows of one cache line, read as columns: a key finds a slot."""
+"""Table of flow records: one row of a cache line per record, accessed by columns."""
 
 from __future__ import annotations
 
@@ -8,173 +8,226 @@
 from kumquatmux_core.identity import FlowKey
 from kumquatmux_core.segments import FLAG_FIN, FLAG_SYN, Segment
 
-GROWTH_SLOTS = 1_024
+MIN_GROWTH_SLOTS = 1_024
 NO_VM = 0xFFFF
+"""VM number that stands for no VM."""
 WAS_RESET = 255
+"""Value of ``strikes`` for a flow that this VM has reset."""
 ROW_BYTES = 64
 SEQUENCE_MASK = 0xFFFFFFFF
 SEQUENCE_HALF = 0x80000000
 
 
 class Role(IntEnum):
-    """Why this VM holds a record."""
+    """Reason why this VM holds a record.
+
+    Attributes:
+        FREE: The slot holds no record.
+        LEARNED: The record was learned from replies.
+        BACKUP: The record is a copy of one that another VM owns.
+        OWNER: This VM owns the flow.
+    """
 
     FREE = 0
     LEARNED = 1
-    COPY = 2
+    BACKUP = 2
     OWNER = 3
 
 
 class FlowStatus(IntEnum):
-    """How far a flow has come; the open ones are the highest."""
+    """Progress of a flow; open flows have the status ``ESTABLISHED`` or higher.
+
+    Attributes:
+        HALF_OPEN: The TCP handshake is not finished.
+        CLOSING: One end has sent a FIN.
+        CLOSED: The flow has ended or was reset.
+        ESTABLISHED: The TCP handshake is finished.
+        UDP_ACTIVE: The flow is a UDP flow.
+    """
 
     HALF_OPEN = 0
     CLOSING = 1
     CLOSED = 2
     ESTABLISHED = 3
-    DATAGRAMS = 4
+    UDP_ACTIVE = 4
 
 
-class Mark(IntEnum):
-    """Facts about one flow, one bit each.
+class FlowFlag(IntEnum):
+    """Flag bits of a flow.
 
-    ``PLACED`` tells flows placed by this VM. ``SERVER_SEEN`` says that
-    ``server_next`` holds a number seen in a packet, ``CALLER_SEEN`` the same of
-    ``caller_next``, ``CONFIRMED`` that the second copy is known to be in place. At the
-    owner ``server_next`` is what the caller acknowledged, not what the server sent: a
-    reset or probe with any other number is not taken by the caller.
+    Attributes:
+        WORK_PENDING: The flow holds a slot of its server.
+        WORK_PROVISIONAL: The flow holds the slot only because it is new; its caller
+            has not sent any bytes.
+        CALLER_FIN: The caller has sent a FIN.
+        SERVER_FIN: The server has sent a FIN.
+        BACKUP_CONFIRMED: The backup VM is known to hold the record.
+        PLACED_HERE: This VM placed the flow.
+        SERVER_NEXT_KNOWN: ``server_nexts`` holds a number seen in a packet. At the
+            owner it is what the caller acknowledged, not what the server sent: the
+            caller ignores resets and probes with any other number.
+        CALLER_NEXT_KNOWN: ``caller_nexts`` holds a number seen in a packet.
     """
 
-    WORKING = 1
-    PROVISIONAL = 2
+    WORK_PENDING = 1
+    WORK_PROVISIONAL = 2
     CALLER_FIN = 4
     SERVER_FIN = 8
-    CONFIRMED = 16
-    PLACED = 32
-    SERVER_SEEN = 64
-    CALLER_SEEN = 128
+    BACKUP_CONFIRMED = 16
+    PLACED_HERE = 32
+    SERVER_NEXT_KNOWN = 64
+    CALLER_NEXT_KNOWN = 128
 
 
 class FlowTable:
-    """All records of one VM.
+    """All flow records of one VM.
 
     Attributes:
         slots: Slot of each key.
-        keys: Key of each slot, None where it is free.
-        counts: Records by role.
+        keys: Key of each slot, None for a free slot.
+        free_slots: Free slots.
+        role_counts: Number of records by role.
+        roles: Role of each slot.
+        statuses: ``FlowStatus`` of each slot.
+        flow_flags: ``FlowFlag`` bits of each slot.
+        strikes: Unanswered packets that each slot counts, ``WAS_RESET`` for a flow
+            that was reset.
+        services: Service number of each slot.
+        servers: Server number of each slot.
+        revisions: Settings revision in force when the flow was placed.
+        epochs: Number of times that the key of each slot has been placed.
+        caller_isns: Initial sequence number of the caller.
+        caller_nexts: Next sequence number expected from the caller.
+        server_nexts: Next sequence number expected from the server.
+        server_acks: Last acknowledgement number of the server, 0 if unknown.
+        backup_vms: Number of the VM that got the backup copy, ``NO_VM`` for none.
+        backup_seqs: Sequence number whose acknowledgement by the server shows that
+            the backup VM holds the record.
+        backup_times: Time in seconds at which the backup copy was last sent,
+            received or confirmed.
+        caller_times: Time in seconds of the last packet of the caller.
+        reply_times: Time in seconds of the last packet of the server.
+        strike_times: Time in seconds at which each slot last counted an unanswered
+            packet or, for a closed flow, at which it was closed.
     """
 
     def __init__(self) -> None:
         self.slots: dict[FlowKey, int] = {}
         self.keys: list[FlowKey | None] = []
-        self.free: array[int] = array("I")
-        self.counts = [0] * len(Role)
+        self.free_slots: array[int] = array("I")
+        self.role_counts = [0] * len(Role)
         self.epochs: array[int] = array("I")
         self.strike_times: array[float] = array("d")
-        self.use_rows(bytearray())
+        self.map_columns(bytearray())
 
-    def use_rows(self, rows: bytearray) -> None:
-        """Lay the columns over rows: one cache line holds what a packet needs."""
+    def map_columns(self, rows: bytearray) -> None:
+        """Map the columns onto rows; one cache line holds all that a packet needs."""
         self.rows = rows
-        view = memoryview(rows)
-        wide = view.cast("I")
-        short = view.cast("H")
-        times = view.cast("d")
-        self.roles = view[0::ROW_BYTES]
-        self.statuses = view[1::ROW_BYTES]
-        self.marks = view[2::ROW_BYTES]
-        self.strikes = view[3::ROW_BYTES]
-        self.services = short[2 :: ROW_BYTES // 2]
-        self.copies = short[3 :: ROW_BYTES // 2]
-        self.servers = wide[2 :: ROW_BYTES // 4]
-        self.revisions = wide[3 :: ROW_BYTES // 4]
-        self.caller_isns = wide[4 :: ROW_BYTES // 4]
-        self.caller_nexts = wide[5 :: ROW_BYTES // 4]
-        self.server_nexts = wide[6 :: ROW_BYTES // 4]
-        self.server_acks = wide[7 :: ROW_BYTES // 4]
-        self.copy_seqs = wide[8 :: ROW_BYTES // 4]
-        self.copy_times = times[5 :: ROW_BYTES // 8]
-        self.caller_times = times[6 :: ROW_BYTES // 8]
-        self.reply_times = times[7 :: ROW_BYTES // 8]
+        uint8s = memoryview(rows)
+        uint32s = uint8s.cast("I")
+        uint16s = uint8s.cast("H")
+        float64s = uint8s.cast("d")
+        self.roles = uint8s[0::ROW_BYTES]
+        self.statuses = uint8s[1::ROW_BYTES]
+        self.flow_flags = uint8s[2::ROW_BYTES]
+        self.strikes = uint8s[3::ROW_BYTES]
+        self.services = uint16s[2 :: ROW_BYTES // 2]
+        self.backup_vms = uint16s[3 :: ROW_BYTES // 2]
+        self.servers = uint32s[2 :: ROW_BYTES // 4]
+        self.revisions = uint32s[3 :: ROW_BYTES // 4]
+        self.caller_isns = uint32s[4 :: ROW_BYTES // 4]
+        self.caller_nexts = uint32s[5 :: ROW_BYTES // 4]
+        self.server_nexts = uint32s[6 :: ROW_BYTES // 4]
+        self.server_acks = uint32s[7 :: ROW_BYTES // 4]
+        self.backup_seqs = uint32s[8 :: ROW_BYTES // 4]
+        self.backup_times = float64s[5 :: ROW_BYTES // 8]
+        self.caller_times = float64s[6 :: ROW_BYTES // 8]
+        self.reply_times = float64s[7 :: ROW_BYTES // 8]
 
     @property
-    def kept(self) -> int:
-        """Records held as owner or second copy."""
-        return self.counts[Role.OWNER] + self.counts[Role.COPY]
-
-    def add(self, key: FlowKey, role: Role, server: int, service: int) -> int:
-        """Return the slot of a new record for a key that has none."""
-        if not self.free:
+    def retained_count(self) -> int:
+        """Number of records held as owner or backup."""
+        return self.role_counts[Role.OWNER] + self.role_counts[Role.BACKUP]
+
+    def add(
+        self, key: FlowKey, role: Role, server_number: int, service_number: int
+    ) -> int:
+        """Add a record for a key that has none and return its slot."""
+        if not self.free_slots:
             self.grow()
-        slot = self.free.pop()
+        slot = self.free_slots.pop()
         self.slots[key] = slot
         self.keys[slot] = key
         self.roles[slot] = role
-        self.counts[role] += 1
-        self.servers[slot] = server
-        self.services[slot] = service
-        self.clear(slot)
+        self.role_counts[role] += 1
+        self.servers[slot] = server_number
+        self.services[slot] = service_number
+        self.reset_progress(slot)
         return slot
 
-    def clear(self, slot: int) -> None:
-        """Set the progress of a slot back to that of a new flow."""
+    def reset_progress(self, slot: int) -> None:
+        """Reset the tracked progress of a slot to that of a new flow."""
         self.statuses[slot] = FlowStatus.HALF_OPEN
-        self.marks[slot] = 0
+        self.flow_flags[slot] = 0
         self.strikes[slot] = 0
-        self.copies[slot] = NO_VM
+        self.backup_vms[slot] = NO_VM
         self.epochs[slot] = 0
         self.revisions[slot] = 0
         self.caller_isns[slot] = 0
         self.caller_nexts[slot] = 0
         self.server_nexts[slot] = 0
         self.server_acks[slot] = 0
-        self.copy_seqs[slot] = 0
-        self.copy_times[slot] = 0.0
+        self.backup_seqs[slot] = 0
+        self.backup_times[slot] = 0.0
         self.caller_times[slot] = 0.0
         self.reply_times[slot] = 0.0
         self.strike_times[slot] = 0.0
 
     def remove(self, slot: int) -> None:
-        """Free a slot."""
+        """Remove the record of a slot and free the slot.
+
+        Raises:
+            ValueError: The slot is already free.
+        """
         key = self.keys[slot]
         if key is None:
-            raise ValueError(f"slot {slot} is free already")
+            raise ValueError(f"slot {slot} is already free")
         del self.slots[key]
         self.keys[slot] = None
-        self.counts[self.roles[slot]] -= 1
+        self.role_counts[self.roles[slot]] -= 1
         self.roles[slot] = Role.FREE
-        self.free.append(slot)
+        self.free_slots.append(slot)
 
     def set_role(self, slot: int, role: Role) -> None:
-        """Change why a record is held."""
-        self.counts[self.roles[slot]] -= 1
-        self.counts[role] += 1
+        """Change the role of a record."""
+        self.role_counts[self.roles[slot]] -= 1
+        self.role_counts[role] += 1
         self.roles[slot] = role
 
     def grow(self) -> None:
-        """Add free slots, an eighth of the table at least."""
-        size = len(self.keys)
-        more = max(GROWTH_SLOTS, size // 8)
-        self.keys.extend([None] * more)
-        for cold in (self.epochs, self.strike_times):
-            cold.frombytes(bytes(more * cold.itemsize))
-        self.use_rows(self.rows + bytes(more * ROW_BYTES))
-        self.free.extend(range(size + more - 1, size - 1, -1))
-
-
-def end_of(segment: Segment) -> int:
-    """Return the sequence number after a segment."""
+        """Add free slots, at least an eighth of the table."""
+        slot_count = len(self.keys)
+        added_slots = max(MIN_GROWTH_SLOTS, slot_count // 8)
+        self.keys.extend([None] * added_slots)
+        for column in (self.epochs, self.strike_times):
+            column.frombytes(bytes(added_slots * column.itemsize))
+        self.map_columns(self.rows + bytes(added_slots * ROW_BYTES))
+        self.free_slots.extend(range(slot_count + added_slots - 1, slot_count - 1, -1))
+
+
+def next_seq(segment: Segment) -> int:
+    """Return the sequence number that follows a segment."""
     length = segment.payload_length
     length += 1 if segment.flags & FLAG_SYN else 0
     length += 1 if segment.flags & FLAG_FIN else 0
     return (segment.seq + length) & SEQUENCE_MASK
 
 
-def is_after(left: int, right: int) -> bool:
-    """Return whether one TCP sequence number is later than another."""
+def seq_after(left: int, right: int) -> bool:
+    """Return whether TCP sequence number ``left`` is later than ``right``."""
     return 0 < (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
 
 
-def is_at_least(left: int, right: int) -> bool:
-    """Return whether one TCP sequence number is another or later."""
+def seq_at_or_after(left: int, right: int) -> bool:
+    """Return whether TCP sequence number ``left`` is ``right`` or later."""
     return (left - right) & SEQUENCE_MASK < SEQUENCE_HALF
--- a/libs/flows/tests/test_matters.py
+++ b/libs/flows/tests/test_matters.py
@@ -1,4 +1,4 @@
-"""One table or case for each matter of the flow engine."""
+"""Tests of limits, conflicts, backup copies, expiry and shutdown of the engine."""
 
 from __future__ import annotations
 
@@ -36,232 +36,281 @@
 from kumquatmux_flows.table import Role
 
 _spec = importlib.util.spec_from_file_location(
-    "engine_cases", Path(__file__).with_name("test_engine.py")
+    "engine_tests", Path(__file__).with_name("test_engine.py")
 )
 assert _spec is not None and _spec.loader is not None
-cases = importlib.util.module_from_spec(_spec)
-_spec.loader.exec_module(cases)
-SERVER, SECOND, SETTLED = cases.SERVER, cases.SECOND, cases.SETTLED
+engine_tests = importlib.util.module_from_spec(_spec)
+_spec.loader.exec_module(engine_tests)
+SERVER, OTHER_SERVER, SETTLED_TIME = (
+    engine_tests.SERVER,
+    engine_tests.OTHER_SERVER,
+    engine_tests.SETTLED_TIME,
+)
 
 
-def send(made, key: FlowKey, now: float, **fields) -> list[Action]:
-    return made.handle(CallerPacket(cases.segment(key, **fields)), now)
+def send_packet(flow_engine, key: FlowKey, now: float, **fields) -> list[Action]:
+    return flow_engine.handle(
+        CallerPacket(engine_tests.make_segment(key, **fields)), now
+    )
 
 
-def tick_for(made, start: float, seconds: float) -> list[Action]:
+def run_ticks(flow_engine, start: float, seconds: float) -> list[Action]:
     steps = int(seconds * 10)
     return [
         action
         for step in range(1, steps + 1)
-        for action in made.handle(Tick(), start + step / 10)
+        for action in flow_engine.handle(Tick(), start + step / 10)
     ]
 
 
-def owned_key(made, protocol: int = 6) -> FlowKey:
-    keys = (cases.key_of(port, protocol) for port in range(99))
-    return next(key for key in keys if cases.owns(made, key))
+def find_owned_key(flow_engine, protocol: int = 6) -> FlowKey:
+    keys = (engine_tests.make_flow_key(port, protocol) for port in range(99))
+    return next(key for key in keys if engine_tests.owns_flow(flow_engine, key))
 
 
 @pytest.mark.parametrize(
-    ("after", "flags", "expected"),
+    ("seconds_since_close", "flags", "expected"),
     [
         (0.1, FLAG_SYN, Dropped(Refusal.QUARANTINED)),
         (9.9, FLAG_SYN, Dropped(Refusal.QUARANTINED)),
         (0.1, FLAG_ACK, SendToServer(SERVER, b"packet")),
     ],
 )
-def test_a_closed_key_stays_with_its_server(after, flags, expected) -> None:
-    made = cases.engine()
-    key = cases.key_of(1)
-    cases.open_flow(made, key)
-    send(made, key, SETTLED, flags=FLAG_RST, seq=100)
-    assert send(made, key, SETTLED + after, flags=flags, seq=7_000) == [expected]
-
-
-def test_a_closed_key_is_placed_anew_after_quarantine() -> None:
-    made = cases.engine()
-    key = cases.key_of(1)
-    cases.open_flow(made, key)
-    fin = cases.segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
-    send(made, key, SETTLED, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500)
-    made.handle(ServerPacket(fin, SERVER), SETTLED)
-    later = SETTLED + 11
-    assert cases.kinds(send(made, key, later, flags=FLAG_SYN, seq=1)) == [
-        "AskPlacement"
-    ]
-    made.handle(FlowPlaced(key, SECOND), later)
-    slot = made.state.table.slots[key]
-    assert made.state.table.epochs[slot] == 2
+def test_closed_flow_key_stays_bound_to_its_server_in_quarantine(
+    seconds_since_close, flags, expected
+) -> None:
+    flow_engine = engine_tests.make_engine()
+    key = engine_tests.make_flow_key(1)
+    engine_tests.open_flow(flow_engine, key)
+    send_packet(flow_engine, key, SETTLED_TIME, flags=FLAG_RST, seq=100)
+    assert send_packet(
+        flow_engine, key, SETTLED_TIME + seconds_since_close, flags=flags, seq=7_000
+    ) == [expected]
+
+
+def test_closed_flow_key_is_placed_again_after_quarantine() -> None:
+    flow_engine = engine_tests.make_engine()
+    key = engine_tests.make_flow_key(1)
+    engine_tests.open_flow(flow_engine, key)
+    fin = engine_tests.make_segment(key, FLAG_FIN | FLAG_ACK, seq=500, ack=101)
+    send_packet(
+        flow_engine, key, SETTLED_TIME, flags=FLAG_FIN | FLAG_ACK, seq=100, ack=500
+    )
+    flow_engine.handle(ServerPacket(fin, SERVER), SETTLED_TIME)
+    after_quarantine = SETTLED_TIME + 11
+    assert engine_tests.action_names(
+        send_packet(flow_engine, key, after_quarantine, flags=FLAG_SYN, seq=1)
+    ) == ["AskPlacement"]
+    flow_engine.handle(FlowPlaced(key, OTHER_SERVER), after_quarantine)
+    slot = flow_engine.state.table.slots[key]
+    assert flow_engine.state.table.epochs[slot] == 2
 
 
 def test_a_full_table_refuses_new_flows_and_keeps_open_ones() -> None:
-    made = cases.engine(settings=FlowSettings(flow_limit=1))
-    first, second = cases.key_of(1), cases.key_of(2)
-    cases.open_flow(made, first)
-    refused = send(made, second, SETTLED, flags=FLAG_SYN, seq=9)
+    flow_engine = engine_tests.make_engine(settings=FlowSettings(flow_limit=1))
+    open_key, new_key = engine_tests.make_flow_key(1), engine_tests.make_flow_key(2)
+    engine_tests.open_flow(flow_engine, open_key)
+    refused = send_packet(flow_engine, new_key, SETTLED_TIME, flags=FLAG_SYN, seq=9)
     assert [action.reason for action in refused] == [Refusal.TABLE_FULL]
-    assert made.route_caller(first, FLAG_ACK, 100, 500, 5, SETTLED) == SERVER
+    assert (
+        flow_engine.route_caller(open_key, FLAG_ACK, 100, 500, 5, SETTLED_TIME)
+        == SERVER
+    )
 
 
-def test_learned_records_are_bounded_and_spare_owned_ones() -> None:
-    made = cases.engine(settings=FlowSettings(learned_limit=3))
-    cases.open_flow(made, cases.key_of(1))
+def test_learned_record_limit_does_not_evict_owned_records() -> None:
+    flow_engine = engine_tests.make_engine(settings=FlowSettings(learned_limit=3))
+    engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
     for port in range(2, 12):
-        reply = cases.segment(cases.key_of(port), seq=5, ack=6, length=7)
-        made.handle(ServerPacket(reply, SERVER), SETTLED)
-    counts = made.state.table.counts
+        reply = engine_tests.make_segment(
+            engine_tests.make_flow_key(port), seq=5, ack=6, length=7
+        )
+        flow_engine.handle(ServerPacket(reply, SERVER), SETTLED_TIME)
+    counts = flow_engine.state.table.role_counts
     assert (counts[Role.LEARNED], counts[Role.OWNER]) == (3, 1)
-    assert cases.key_of(11) in made.state.table.slots
+    assert engine_tests.make_flow_key(11) in flow_engine.state.table.slots
 
 
 @pytest.mark.parametrize(
-    ("lost", "suspect", "expected"),
+    ("lost_vms", "record_maybe_lost", "expected"),
     [
         ((), False, "AskPlacement"),
         (("b",), False, "ResetCaller"),
         ((), True, "ResetCaller"),
     ],
 )
-def test_an_unknown_datagram_is_not_guessed_after_a_loss(
-    lost, suspect, expected
+def test_unknown_udp_flow_is_reset_after_the_loss_of_a_vm(
+    lost_vms, record_maybe_lost, expected
 ) -> None:
-    made = cases.engine()
-    made.handle(ViewChanged(cases.vms("a", "c"), tuple(map(VmId, lost))), SETTLED)
-    key = owned_key(made, protocol=17)
-    [search] = send(made, key, SETTLED + 1, flags=0, length=9)
-    assert isinstance(search, SendToPeer)
-    assert search.passing.stage == Stage.LOOKUP
-    miss = Passing(Stage.MISS, 2, None, VmId("a"), suspect)
-    datagram = cases.segment(key, flags=0, length=9)
-    answer = made.handle(PeerPacket(VmId("c"), miss, datagram), SETTLED + 1)
-    assert cases.kinds(answer) == [expected]
-
-
-def test_an_unknown_connection_is_reset_after_two_misses() -> None:
-    made = cases.engine()
-    key = cases.key_of(1)
+    flow_engine = engine_tests.make_engine()
+    flow_engine.handle(
+        ViewChanged(engine_tests.make_vms("a", "c"), tuple(map(VmId, lost_vms))),
+        SETTLED_TIME,
+    )
+    key = find_owned_key(flow_engine, protocol=17)
+    [lookup] = send_packet(flow_engine, key, SETTLED_TIME + 1, flags=0, length=9)
+    assert isinstance(lookup, SendToPeer)
+    assert lookup.passing.stage == Stage.LOOKUP
+    miss_header = Passing(Stage.MISS, 2, None, VmId("a"), record_maybe_lost)
+    datagram = engine_tests.make_segment(key, flags=0, length=9)
+    answer = flow_engine.handle(
+        PeerPacket(VmId("c"), miss_header, datagram), SETTLED_TIME + 1
+    )
+    assert engine_tests.action_names(answer) == [expected]
+
+
+def test_unknown_tcp_flow_is_reset_after_two_failed_lookups() -> None:
+    flow_engine = engine_tests.make_engine()
+    key = engine_tests.make_flow_key(1)
     outcomes = [
-        send(made, key, SETTLED + after, seq=5, ack=6) for after in (0.0, 1.0, 3.5)
+        send_packet(flow_engine, key, SETTLED_TIME + after, seq=5, ack=6)
+        for after in (0.0, 1.0, 3.5)
     ]
-    assert outcomes[:2] == [[Dropped(Refusal.UNSETTLED)]] * 2
+    assert outcomes[:2] == [[Dropped(Refusal.VIEW_UNSETTLED)]] * 2
     assert isinstance(outcomes[2][0], ResetCaller)
 
 
 @pytest.mark.parametrize(
-    ("here", "there", "server"),
+    ("first_binding", "second_binding", "server"),
     [
-        (Binding(SERVER, 1, 1), Binding(SECOND, 1, 2), SECOND),
-        (Binding(SERVER, 1, 2), Binding(SECOND, 1, 1), SERVER),
-        (Binding(SERVER, 1, 1), Binding(SECOND, 1, 1, True), SECOND),
-        (Binding(SERVER, 1, 1, True), Binding(SECOND, 1, 1), SERVER),
-        (Binding(SERVER, 1, 1), Binding(SECOND, 1, 1), min(SERVER, SECOND)),
-        (Binding(SECOND, 1, 1), Binding(SERVER, 1, 1), min(SERVER, SECOND)),
+        (Binding(SERVER, 1, 1), Binding(OTHER_SERVER, 1, 2), OTHER_SERVER),
+        (Binding(SERVER, 1, 2), Binding(OTHER_SERVER, 1, 1), SERVER),
+        (Binding(SERVER, 1, 1), Binding(OTHER_SERVER, 1, 1, True), OTHER_SERVER),
+        (Binding(SERVER, 1, 1, True), Binding(OTHER_SERVER, 1, 1), SERVER),
+        (Binding(SERVER, 1, 1), Binding(OTHER_SERVER, 1, 1), min(SERVER, OTHER_SERVER)),
+        (Binding(OTHER_SERVER, 1, 1), Binding(SERVER, 1, 1), min(SERVER, OTHER_SERVER)),
     ],
 )
-def test_one_of_two_bindings_wins(here, there, server) -> None:
-    made = cases.engine()
-    key = cases.key_of(1)
-    first = cases.segment(key, FLAG_SYN, seq=99)
-    for binding in (here, there):
-        store = Passing(Stage.STORE, 0, binding)
-        made.handle(PeerPacket(VmId("b"), store, first), SETTLED)
-    assert made.state.address_of(made.state.table.slots[key]) == server
-
-
-def test_silent_flows_get_their_second_copy_within_the_budget() -> None:
-    made = cases.engine(settings=FlowSettings(repair_bytes_per_second=500.0))
+def test_conflicting_bindings_resolve_to_one_server(
+    first_binding, second_binding, server
+) -> None:
+    flow_engine = engine_tests.make_engine()
+    key = engine_tests.make_flow_key(1)
+    first_packet = engine_tests.make_segment(key, FLAG_SYN, seq=99)
+    for binding in (first_binding, second_binding):
+        store_header = Passing(Stage.STORE, 0, binding)
+        flow_engine.handle(
+            PeerPacket(VmId("b"), store_header, first_packet), SETTLED_TIME
+        )
+    assert (
+        flow_engine.state.server_address_of(flow_engine.state.table.slots[key])
+        == server
+    )
+
+
+def test_idle_flows_are_backed_up_within_the_byte_budget() -> None:
+    flow_engine = engine_tests.make_engine(
+        settings=FlowSettings(repair_bytes_per_second=500.0)
+    )
     for port in range(60):
-        cases.open_flow(made, cases.key_of(port))
-    made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
-    made.state.ranking.ranks = {
-        place: [VmId("a"), VmId("b")] for place in made.state.ranking.ranks
+        engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(port))
+    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
+    flow_engine.state.ranking.ranked_vms = {
+        service_key: [VmId("a"), VmId("b")]
+        for service_key in flow_engine.state.ranking.ranked_vms
     }
     batches = []
     for step in range(1, 101):
-        now = SETTLED + 3 + step / 10
-        for action in made.handle(Tick(), now):
+        now = SETTLED_TIME + 3 + step / 10
+        for action in flow_engine.handle(Tick(), now):
             if isinstance(action, SendMessage):
                 batches.append(action.message)
-                stored = BatchStored(action.message.number)
-                made.handle(PeerMessage(action.vm, stored), now)
+                confirmation = BatchStored(action.message.batch_number)
+                flow_engine.handle(PeerMessage(action.vm, confirmation), now)
     sizes = [len(FLOW_MESSAGES.encode(batch)) for batch in batches]
     assert sum(sizes) <= 500 * 10 + 500
     keys = [record.key for batch in batches for record in batch.records]
     assert len(keys) == len(set(keys)) == 60
 
 
-def test_a_leaving_vm_is_quiet_once_its_records_are_kept_elsewhere() -> None:
-    made = cases.engine()
-    cases.open_flow(made, cases.key_of(1))
-    made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
-    made.handle(Leaving(), SETTLED)
-    unconfirmed = tick_for(made, SETTLED, 20.0)
-    assert not any(isinstance(action, Quiet) for action in unconfirmed)
-    made.state.table.copies[0] = 0
-    batch = made.sweep.batches.sent
+def test_leaving_vm_reports_quiet_once_its_records_are_stored_elsewhere() -> None:
+    flow_engine = engine_tests.make_engine()
+    engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
+    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
+    flow_engine.handle(Leaving(), SETTLED_TIME)
+    unconfirmed_actions = run_ticks(flow_engine, SETTLED_TIME, 20.0)
+    assert not any(isinstance(action, Quiet) for action in unconfirmed_actions)
+    flow_engine.state.table.backup_vms[0] = 0
+    unconfirmed_batches = flow_engine.table_sweep.batch_exchange.unconfirmed_batches
     for step in range(300):
-        now = SETTLED + 20 + step / 10
-        actions = made.handle(Tick(), now)
-        for number in list(batch):
-            made.handle(PeerMessage(VmId("b"), BatchStored(number)), now)
+        now = SETTLED_TIME + 20 + step / 10
+        actions = flow_engine.handle(Tick(), now)
+        for number in list(unconfirmed_batches):
+            flow_engine.handle(PeerMessage(VmId("b"), BatchStored(number)), now)
         if any(isinstance(action, Quiet) for action in actions):
             return
-    raise AssertionError("never quiet")
+    raise AssertionError("the handover was never reported as complete")
 
 
-@pytest.mark.parametrize(("protocol", "status_seconds"), [(6, 14_400.0), (17, 30.0)])
-def test_idle_flows_expire_by_protocol(protocol: int, status_seconds: float) -> None:
+@pytest.mark.parametrize(
+    ("protocol", "idle_limit_seconds"), [(6, 14_400.0), (17, 30.0)]
+)
+def test_idle_flows_expire_by_protocol(
+    protocol: int, idle_limit_seconds: float
+) -> None:
     settings = FlowSettings(sweep_seconds=0.1, probes_per_second=0.0)
-    made = cases.engine(settings=settings)
-    key = cases.key_of(1, protocol)
+    flow_engine = engine_tests.make_engine(settings=settings)
+    key = engine_tests.make_flow_key(1, protocol)
     if protocol == 6:
-        cases.open_flow(made, key)
+        engine_tests.open_flow(flow_engine, key)
     else:
-        send(made, key, SETTLED, flags=0, length=4)
-        made.handle(FlowPlaced(key, SERVER), SETTLED)
-    tick_for(made, SETTLED + status_seconds - 3, 2.0)
-    assert key in made.state.table.slots
-    tick_for(made, SETTLED + status_seconds, 2.0)
-    assert key not in made.state.table.slots
-
-
-def test_batches_survive_the_codec() -> None:
-    made = cases.engine()
-    cases.open_flow(made, cases.key_of(1))
-    record = made.sweep.batches.record(made.state.table.slots[cases.key_of(1)], SETTLED)
+        send_packet(flow_engine, key, SETTLED_TIME, flags=0, length=4)
+        flow_engine.handle(FlowPlaced(key, SERVER), SETTLED_TIME)
+    run_ticks(flow_engine, SETTLED_TIME + idle_limit_seconds - 3, 2.0)
+    assert key in flow_engine.state.table.slots
+    run_ticks(flow_engine, SETTLED_TIME + idle_limit_seconds, 2.0)
+    assert key not in flow_engine.state.table.slots
+
+
+def test_record_batch_is_unchanged_by_encoding_and_decoding() -> None:
+    flow_engine = engine_tests.make_engine()
+    engine_tests.open_flow(flow_engine, engine_tests.make_flow_key(1))
+    record = flow_engine.table_sweep.batch_exchange.build_record(
+        flow_engine.state.table.slots[engine_tests.make_flow_key(1)], SETTLED_TIME
+    )
     batch = RecordBatch(1, (record,))
     assert FLOW_MESSAGES.decode(FLOW_MESSAGES.encode(batch)).ok == batch
 
 
 def test_fast_path_agrees_with_the_slow_path() -> None:
-    draw = random.Random(5)
+    rng = random.Random(5)
     for _ in range(300):
-        fields = (draw.choice((100, 90, 150)), draw.choice((500, 9)), draw.randrange(2))
-        fast, slow = cases.engine(), cases.engine()
-        key = cases.key_of(1)
-        for made in (fast, slow):
-            cases.open_flow(made, key)
-        server = fast.route_caller(
+        fields = (rng.choice((100, 90, 150)), rng.choice((500, 9)), rng.randrange(2))
+        fast_engine, slow_engine = (
+            engine_tests.make_engine(),
+            engine_tests.make_engine(),
+        )
+        key = engine_tests.make_flow_key(1)
+        for flow_engine in (fast_engine, slow_engine):
+            engine_tests.open_flow(flow_engine, key)
+        server = fast_engine.route_caller(
             key, FLAG_ACK, fields[0], fields[1], fields[2], 101.0
         )
-        sent = send(slow, key, 101.0, seq=fields[0], ack=fields[1], length=fields[2])
+        sent = send_packet(
+            slow_engine, key, 101.0, seq=fields[0], ack=fields[1], length=fields[2]
+        )
         if server is not None:
             assert SendToServer(SERVER, b"packet") in sent
-            assert fast.drain() == [a for a in sent if not isinstance(a, SendToServer)]
-
-
-@pytest.mark.parametrize(("first", "is_repeated"), [("a", True), ("b", False)])
-def test_a_reset_is_repeated_only_by_the_owner(first, is_repeated) -> None:
-    """A VM that took a flow for silent in a cut leaves it to its owner afterwards."""
-    made = cases.engine()
-    key = cases.key_of(1)
-    cases.open_flow(made, key)
-    made.silence.end(made.state.table.slots[key], Refusal.SILENT, SETTLED)
-    made.handle(ViewChanged(cases.vms("a", "b")), SETTLED)
-    second = "b" if first == "a" else "a"
-    made.state.ranking.ranks = {
-        place: [VmId(first), VmId(second)] for place in made.state.ranking.ranks
+            assert fast_engine.drain() == [
+                action for action in sent if not isinstance(action, SendToServer)
+            ]
+
+
+@pytest.mark.parametrize(("owner", "is_repeated"), [("a", True), ("b", False)])
+def test_reset_is_repeated_only_by_the_owner(owner, is_repeated) -> None:
+    """A VM that closed a flow as silent during a partition leaves it to its owner."""
+    flow_engine = engine_tests.make_engine()
+    key = engine_tests.make_flow_key(1)
+    engine_tests.open_flow(flow_engine, key)
+    flow_engine.silence_detector.close_reset_flow(
+        flow_engine.state.table.slots[key], Refusal.SILENT, SETTLED_TIME
+    )
+    flow_engine.handle(ViewChanged(engine_tests.make_vms("a", "b")), SETTLED_TIME)
+    backup = "b" if owner == "a" else "a"
+    flow_engine.state.ranking.ranked_vms = {
+        service_key: [VmId(owner), VmId(backup)]
+        for service_key in flow_engine.state.ranking.ranked_vms
     }
-    actions = tick_for(made, SETTLED, 5.0)
-    resets = [one for one in actions if isinstance(one, ResetCaller)]
+    actions = run_ticks(flow_engine, SETTLED_TIME, 5.0)
+    resets = [action for action in actions if isinstance(action, ResetCaller)]
     assert bool(resets) == is_repeated
