--- a/libs/membership/src/kumquatmux_membership/notices.py
+++ b/libs/membership/src/kumquatmux_membership/notices.py
@@ -1,8 +1,8 @@
-"""Drains and leaves that are not yet sure to hold at every VM of the zone.
+"""Retirements (drains and leaves) that may not be in force in the whole zone yet.
 
-A VM that has acknowledged one never holds the server as live again in that session.
-Where one does not answer, its own lease of the server runs out: a server renews nothing
-as live after it has asked to drain or leave.
+A VM that has acknowledged a drain or leave never holds the server as live again in that
+session. If a VM does not acknowledge it, its own lease of the server expires, because a
+server does not renew as live after it has asked to drain or leave.
 """
 
 from __future__ import annotations
@@ -14,92 +14,105 @@
 from kumquatmux_membership.settings import LeaseSettings
 
 
-class Notice:
-    """One drain or leave told to the other VMs of the zone.
+class PendingRetirement:
+    """One drain or leave that was sent to the other VMs of the zone.
 
     Attributes:
-        version: Version of the lease.
-        table_version: Version of our table that carries it.
-        noted: When the server called first, in seconds.
-        waiting: VMs that have not acknowledged it.
-        sent: When it was last sent.
+        lease_version: Version of the lease.
+        table_version: Version of this VM's lease table that contains the change.
+        requested_at: When the server first called, in seconds.
+        unacknowledged: VMs that have not acknowledged the change.
+        sent_at: When the change was last sent, in seconds.
     """
 
     def __init__(
-        self, version: int, table_version: int, noted: float, waiting: set[VmId]
+        self,
+        lease_version: int,
+        table_version: int,
+        requested_at: float,
+        unacknowledged: set[VmId],
     ) -> None:
-        self.version = version
+        self.lease_version = lease_version
         self.table_version = table_version
-        self.noted = noted
-        self.waiting = waiting
-        self.sent = noted
+        self.requested_at = requested_at
+        self.unacknowledged = unacknowledged
+        self.sent_at = requested_at
 
 
 class Notices:
-    """The notices of one VM, by server.
+    """The pending drains and leaves of one VM, by server.
 
     Args:
-        settings: Periods of leases.
+        settings: Settings of leases.
     """
 
     def __init__(self, settings: LeaseSettings) -> None:
         self.settings = settings
-        self.open: dict[ServerId, Notice] = {}
+        self.retirements: dict[ServerId, PendingRetirement] = {}
 
-    def find(self, lease: Lease) -> Notice | None:
-        """Return the notice of a lease at its present version."""
-        notice = self.open.get(lease.server)
-        if notice is None or notice.version != lease.version:
+    def find(self, lease: Lease) -> PendingRetirement | None:
+        """Return the retirement with a lease's version, None if there is none."""
+        retirement = self.retirements.get(lease.server)
+        if retirement is None or retirement.lease_version != lease.version:
             return None
-        return notice
+        return retirement
 
     def add(
-        self, lease: Lease, table_version: int, waiting: set[VmId], now: float
+        self, lease: Lease, table_version: int, unacknowledged: set[VmId], now: float
     ) -> None:
-        """Begin to wait for the VMs that might hold the server as live."""
-        self.open[lease.server] = Notice(lease.version, table_version, now, waiting)
+        """Start to wait for the VMs that may hold the server as live."""
+        self.retirements[lease.server] = PendingRetirement(
+            lease.version, table_version, now, unacknowledged
+        )
         phase = phase_of(lease.version).name.lower()
         decisions.log(
-            "lease-noted", server=lease.server, phase=phase, waiting=len(waiting)
+            "lease-noted", server=lease.server, phase=phase, waiting=len(unacknowledged)
         )
 
     def in_force(self, lease: Lease, now: float) -> bool:
-        """Whether no VM of the zone holds the server as live any more."""
-        notice = self.find(lease)
-        if notice is None:
+        """Return whether no VM of the zone holds the server as live any longer."""
+        retirement = self.find(lease)
+        if retirement is None:
             return False
-        lapsed = now - notice.noted >= self.settings.lapse_seconds
-        return lapsed or not notice.waiting
+        lapsed = now - retirement.requested_at >= self.settings.lease_lapse_seconds
+        return lapsed or not retirement.unacknowledged
 
-    def acknowledge(self, vm: VmId, version: int) -> None:
-        """Note that a VM knows our table up to a version."""
-        for notice in self.open.values():
-            if version >= notice.table_version:
-                notice.waiting.discard(vm)
+    def acknowledge(self, vm: VmId, table_version: int) -> None:
+        """Record that a VM knows this VM's lease table up to a version."""
+        for retirement in self.retirements.values():
+            if table_version >= retirement.table_version:
+                retirement.unacknowledged.discard(vm)
 
-    def due(self, now: float) -> list[VmId]:
-        """Return the VMs that are to be told again."""
+    def take_due_vms(self, now: float) -> list[VmId]:
+        """Return the VMs that are due for a resend and record the time of sending."""
         vms: set[VmId] = set()
-        for notice in self.open.values():
-            if not notice.waiting or now - notice.sent < self.settings.resend_seconds:
+        for retirement in self.retirements.values():
+            if (
+                not retirement.unacknowledged
+                or now - retirement.sent_at < self.settings.resend_interval_seconds
+            ):
                 continue
-            if now - notice.noted > self.settings.lapse_seconds:
+            if now - retirement.requested_at > self.settings.lease_lapse_seconds:
                 continue
-            notice.sent = now
-            vms.update(notice.waiting)
+            retirement.sent_at = now
+            vms.update(retirement.unacknowledged)
         return sorted(vms)
 
-    def base(self, vm: VmId) -> int:
-        """Return the table version from which a VM has to be told."""
-        versions = [
-            notice.table_version - 1
-            for notice in self.open.values()
-            if vm in notice.waiting
+    def resend_base_version(self, vm: VmId) -> int:
+        """Return the table version from which changes must be sent to a VM again."""
+        base_versions = [
+            retirement.table_version - 1
+            for retirement in self.retirements.values()
+            if vm in retirement.unacknowledged
         ]
-        return min(versions, default=0)
-
-    def prune(self, before: float) -> None:
-        """Forget notices older than a time."""
-        old = [name for name, notice in self.open.items() if notice.noted < before]
-        for name in old:
-            del self.open[name]
+        return min(base_versions, default=0)
+
+    def prune(self, cutoff: float) -> None:
+        """Remove drains and leaves requested before a cutoff time."""
+        outdated = [
+            server
+            for server, retirement in self.retirements.items()
+            if retirement.requested_at < cutoff
+        ]
+        for server in outdated:
+            del self.retirements[server]
--- a/libs/membership/src/kumquatmux_membership/sampled.py
+++ b/libs/membership/src/kumquatmux_membership/sampled.py
@@ -1,8 +1,9 @@
-"""Failure detection at a cost per VM that does not grow with their number.
+"""Failure detection whose cost per VM does not grow with the number of VMs.
 
-Each VM exchanges heartbeats with a few neighbours, which several rings of hashes choose
-alike on all VMs, and takes rumours for the rest. A loss that no probe contradicts
-becomes a rumour; the VM it speaks of refutes it.
+Each VM exchanges heartbeats with a few neighbours and learns the status of the other
+VMs by gossip. The neighbours come from several hash rings, which are the same on all
+VMs. A VM that no probe reaches is reported lost in a membership update; if it is alive,
+it refutes the update.
 """
 
 from __future__ import annotations
@@ -16,226 +17,254 @@
 from kumquatmux_membership.events import (
     Heartbeat,
     Members,
-    Rumour,
-    RumourKind,
+    MemberStatus,
+    MemberUpdate,
 )
+from kumquatmux_membership.gossip import GossipState
 from kumquatmux_membership.membership import Membership
 from kumquatmux_membership.peer import NEVER, Peer
-from kumquatmux_membership.rumours import Rumours
 from kumquatmux_membership.settings import MembershipSettings
 
-EAGER_SECONDS = 0.1
-REPLY_AGE_SECONDS = 0.3
-DIFFERENCE_SECONDS = 2.0
-SYNC_SECONDS = 5.0
+UPDATE_DELAY_SECONDS = 0.1
+MIN_REPLY_ECHO_AGE_SECONDS = 0.3
+DIGEST_MISMATCH_SECONDS = 2.0
+SYNC_INTERVAL_SECONDS = 5.0
 
 
-def ring_neighbours(me: Vm, others: Iterable[Vm], fanout: int) -> set[VmId]:
-    """Return the VMs next to one on several rings.
+def ring_neighbours(local_vm: Vm, others: Iterable[Vm], fanout: int) -> set[VmId]:
+    """Return the VMs next to a VM on several hash rings.
 
-    Half of the rings hold its availability zone alone and half hold all VMs. Each gives
-    two neighbours, so both sides choose each other if they know the same VMs.
+    Half of the rings contain only the VMs of its availability zone, the other half
+    contain all VMs. Each ring gives two neighbours, so two VMs choose each other if
+    they know the same VMs.
 
     Args:
-        me: The VM in the middle.
+        local_vm: The VM whose neighbours are returned.
         others: The other VMs.
-        fanout: Neighbours wanted, two a ring.
+        fanout: Number of neighbours wanted, two per ring.
     """
-    everyone = [me, *others]
-    zone = [vm for vm in everyone if vm.zone == me.zone]
-    rings = max(1, fanout // 2)
-    chosen: set[VmId] = set()
-    for number in range(rings):
-        members = zone if number % 2 == 0 and rings > 1 else everyone
-        chosen |= _beside(me, members, b"ring-%d" % number)
-    return chosen - {me.vm}
-
-
-def _beside(me: Vm, members: list[Vm], ring: bytes) -> set[VmId]:
-    here = (weight(ring, me.vm), me.vm)
-    places = [(weight(ring, vm.vm), vm.vm) for vm in members if vm.vm != me.vm]
-    if not places:
+    all_vms = [local_vm, *others]
+    zone_vms = [vm for vm in all_vms if vm.zone == local_vm.zone]
+    ring_count = max(1, fanout // 2)
+    neighbours: set[VmId] = set()
+    for ring_index in range(ring_count):
+        ring_vms = zone_vms if ring_index % 2 == 0 and ring_count > 1 else all_vms
+        neighbours |= _ring_successor_and_predecessor(
+            local_vm, ring_vms, b"ring-%d" % ring_index
+        )
+    return neighbours - {local_vm.vm}
+
+
+def _ring_successor_and_predecessor(
+    local_vm: Vm, ring_vms: list[Vm], ring_name: bytes
+) -> set[VmId]:
+    own_position = (weight(ring_name, local_vm.vm), local_vm.vm)
+    positions = [
+        (weight(ring_name, vm.vm), vm.vm) for vm in ring_vms if vm.vm != local_vm.vm
+    ]
+    if not positions:
         return set()
-    after = min((place for place in places if place > here), default=min(places))
-    before = max((place for place in places if place < here), default=max(places))
-    return {VmId(after[1]), VmId(before[1])}
+    successor = min(
+        (position for position in positions if position > own_position),
+        default=min(positions),
+    )
+    predecessor = max(
+        (position for position in positions if position < own_position),
+        default=max(positions),
+    )
+    return {VmId(successor[1]), VmId(predecessor[1])}
 
 
 class SampledMembership(Membership):
-    """Membership that watches a sample and takes rumours for the rest.
+    """Membership that monitors a sample of the VMs and relies on gossip for the rest.
 
     Args:
-        me: This VM.
-        peers: The VMs that the settings name; this one among them is skipped.
+        local_vm: This VM.
+        peers: VMs configured in the settings; this VM is skipped if it is one of them.
         settings: Periods and timeouts; ``fanout`` is above 0.
-        random: Chooses probe helpers, lost VMs to try, and spreads heartbeats.
+        random: Random source for probe helpers, heartbeat periods and the choice of
+            lost VMs that get a heartbeat.
     """
 
     def __init__(
         self,
-        me: Vm,
+        local_vm: Vm,
         peers: tuple[Vm, ...],
         settings: MembershipSettings,
         random: Random,
     ) -> None:
-        super().__init__(me, peers, settings, random)
-        self.rumours = Rumours()
+        super().__init__(local_vm, peers, settings, random)
+        self.rumours = GossipState()
         self.refutations = 0
         self.neighbours: set[VmId] = set()
-        self.ring_key: frozenset[VmId] | None = None
+        self.ring_members: frozenset[VmId] | None = None
         self.next_sync = NEVER
-        self.differs_since = NEVER
-        self._speak_of_me(RumourKind.ALIVE)
-        self._choose_neighbours(NEVER)
+        self.last_digest_match = NEVER
+        self._gossip_own_status(MemberStatus.ALIVE)
+        self._update_neighbours(NEVER)
 
-    def _targets(self, now: float) -> list[Peer]:
-        self._choose_neighbours(now)
-        near = [self.peers[vm] for vm in self._watched()]
+    def _heartbeat_targets(self, now: float) -> list[Peer]:
+        self._update_neighbours(now)
+        targets = [self.peers[vm] for vm in self._monitored_peers()]
         if self.suspended_until is None:
-            for peer in near:
-                self._watch(peer, now)
-        away = [
+            for peer in targets:
+                self._check_neighbour(peer, now)
+        unmonitored_lost = [
             peer
             for peer in self.peers.values()
-            if not peer.live and not peer.left and peer.vm.vm not in self.neighbours
+            if not peer.in_view and not peer.left and peer.vm.vm not in self.neighbours
         ]
-        if away:
-            near.append(self.random.choice(away))
-        return near
+        if unmonitored_lost:
+            targets.append(self.random.choice(unmonitored_lost))
+        return targets
 
-    def _watch(self, peer: Peer, now: float) -> None:
-        """Have a silent neighbour probed until it is back or rumoured lost."""
-        if peer.live or peer.left:
+    def _check_neighbour(self, peer: Peer, now: float) -> None:
+        """Request probes of a silent neighbour until it returns or is reported lost."""
+        if peer.in_view or peer.left:
             return
-        if now - peer.probe_at > self.settings.suspect_seconds:
-            self._ask_probes(peer, now)
-        self._doubt(peer, now)
+        if now - peer.probe_requested_at > self.settings.suspect_seconds:
+            self._request_probes(peer, now)
+        self._gossip_loss(peer, now)
 
-    def _watched(self) -> Collection[VmId]:
+    def _monitored_peers(self) -> Collection[VmId]:
         return sorted(self.neighbours & self.peers.keys())
 
-    def _belongs(self, peer: Peer, now: float) -> bool:
+    def _belongs_in_view(self, peer: Peer, now: float) -> bool:
         if peer.vm.vm in self.neighbours:
             return peer.usable(now, self.settings)
-        return not peer.left and self.rumours.says_alive(peer.vm.vm)
-
-    def _gossip(self, peer: Peer) -> tuple[Rumour, ...]:
-        spread = self.rumours.spread()
-        about = self.rumours.latest.get(peer.vm.vm)
-        if about is None or about.kind == RumourKind.ALIVE or about in spread:
-            return spread
-        return (*spread, about._replace(about=None))
-
-    def _members_digest(self) -> int:
+        return not peer.left and self.rumours.is_alive(peer.vm.vm)
+
+    def _updates_for(self, peer: Peer) -> tuple[MemberUpdate, ...]:
+        updates = self.rumours.next_updates()
+        peer_update = self.rumours.latest_updates.get(peer.vm.vm)
+        if (
+            peer_update is None
+            or peer_update.status == MemberStatus.ALIVE
+            or peer_update in updates
+        ):
+            return updates
+        return (*updates, peer_update._replace(vm_record=None))
+
+    def _gossip_digest(self) -> int:
         return self.rumours.digest()
 
-    def _hear_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
-        for rumour in message.rumours:
-            self._hear(rumour, now)
-        watched_only_there = peer.vm.vm not in self.neighbours
-        if watched_only_there and now - message.echo >= REPLY_AGE_SECONDS:
+    def _process_gossip(self, peer: Peer, message: Heartbeat, now: float) -> None:
+        for update in message.updates:
+            self._process_update(update, now)
+        peer_not_neighbour = peer.vm.vm not in self.neighbours
+        if (
+            peer_not_neighbour
+            and now - message.echoed_timestamp >= MIN_REPLY_ECHO_AGE_SECONDS
+        ):
             self._send_heartbeat(peer, now)
-        if message.members == self.rumours.digest():
-            self.differs_since = now
-        elif now - self.differs_since > DIFFERENCE_SECONDS and now >= self.next_sync:
-            self.next_sync = now + SYNC_SECONDS
-            everything = tuple(self.rumours.latest.values())
-            self._send(peer.vm.vm, Members(self.me.vm, everything))
-
-    def _hear_members(self, message: Members, now: float) -> None:
-        for rumour in message.rumours:
-            self._hear(rumour, now)
-        if not message.answer:
-            everything = tuple(self.rumours.latest.values())
-            self._send(message.sender, Members(self.me.vm, everything, True))
-
-    def _hear(self, rumour: Rumour, now: float) -> None:
-        if rumour.vm == self.me.vm:
-            self._refute(rumour)
+        if message.gossip_digest == self.rumours.digest():
+            self.last_digest_match = now
+        elif (
+            now - self.last_digest_match > DIGEST_MISMATCH_SECONDS
+            and now >= self.next_sync
+        ):
+            self.next_sync = now + SYNC_INTERVAL_SECONDS
+            all_updates = tuple(self.rumours.latest_updates.values())
+            self._send(peer.vm.vm, Members(self.local_vm.vm, all_updates))
+
+    def _process_members(self, message: Members, now: float) -> None:
+        for update in message.updates:
+            self._process_update(update, now)
+        if not message.is_reply:
+            all_updates = tuple(self.rumours.latest_updates.values())
+            self._send(message.sender, Members(self.local_vm.vm, all_updates, True))
+
+    def _process_update(self, update: MemberUpdate, now: float) -> None:
+        if update.vm == self.local_vm.vm:
+            self._refute_loss(update)
             return
-        if not self.rumours.take(rumour):
+        if not self.rumours.merge(update):
             return
-        self._soon(now)
-        self.touched.add(rumour.vm)
-        peer = self.peers.get(rumour.vm)
-        if peer is None and rumour.about is not None:
-            peer = self._learn(rumour.about, now)
+        self._expedite_next_round(now)
+        self.peers_to_update.add(update.vm)
+        peer = self.peers.get(update.vm)
+        if peer is None and update.vm_record is not None:
+            peer = self._add_peer(update.vm_record, now)
         if peer is None:
             return
-        self._note_incarnation(peer, rumour.incarnation)
-        if rumour.kind == RumourKind.LEFT:
-            self._note_leave(peer, now)
+        self._update_incarnation(peer, update.incarnation)
+        if update.status == MemberStatus.LEFT:
+            self._mark_left(peer, now)
 
-    def _refute(self, rumour: Rumour) -> None:
-        if rumour.kind == RumourKind.ALIVE or self.leaving:
+    def _refute_loss(self, update: MemberUpdate) -> None:
+        if update.status == MemberStatus.ALIVE or self.leaving:
             return
-        if rumour.incarnation == self.me.incarnation:
-            self.refutations = max(self.refutations, rumour.refutations + 1)
+        if update.incarnation == self.local_vm.incarnation:
+            self.refutations = max(self.refutations, update.refutations + 1)
             decisions.log("rumour-refuted", refutations=self.refutations)
-            self._speak_of_me(RumourKind.ALIVE)
+            self._gossip_own_status(MemberStatus.ALIVE)
 
-    def _refuses(self, peer: Peer, now: float) -> bool:
-        judged = peer.vm.vm in self.neighbours and peer.contact != NEVER
-        return judged and super()._refuses(peer, now)
+    def _excludes(self, peer: Peer, now: float) -> bool:
+        monitored = peer.vm.vm in self.neighbours and peer.last_echo != NEVER
+        return monitored and super()._excludes(peer, now)
 
-    def _turned(self, peer: Peer, now: float) -> None:
+    def _on_peer_view_change(self, peer: Peer, now: float) -> None:
         if peer.vm.vm in self.neighbours:
             self._send_heartbeat(peer, now)
-            self._doubt(peer, now)
+            self._gossip_loss(peer, now)
 
-    def _doubt(self, peer: Peer, now: float) -> None:
-        """Spread the loss of a silent neighbour unless others reach it."""
-        if peer.live or peer.refused or self.leaving:
+    def _gossip_loss(self, peer: Peer, now: float) -> None:
+        """Report a silent neighbour as lost unless other VMs reach it."""
+        if peer.in_view or peer.excludes_us or self.leaving:
             return
-        if not self.rumours.says_alive(peer.vm.vm):
+        if not self.rumours.is_alive(peer.vm.vm):
             return
-        recent = max(peer.vouched, peer.contact, self.awake_since)
-        if peer.contact == NEVER:
-            recent = max(recent, peer.since)
-        if not peer.left and now - recent <= self.settings.remove_seconds:
+        last_evidence = max(peer.probe_confirmed_at, peer.last_echo, self.resumed_at)
+        if peer.last_echo == NEVER:
+            last_evidence = max(last_evidence, peer.view_changed_at)
+        if not peer.left and now - last_evidence <= self.settings.remove_seconds:
             return
-        before = self.rumours.latest.get(peer.vm.vm)
-        rumour = Rumour(
+        previous = self.rumours.latest_updates.get(peer.vm.vm)
+        update = MemberUpdate(
             vm=peer.vm.vm,
             incarnation=peer.vm.incarnation,
-            kind=RumourKind.LEFT if peer.left else RumourKind.LOST,
-            refutations=before.refutations if before else 0,
+            status=MemberStatus.LEFT if peer.left else MemberStatus.LOST,
+            refutations=previous.refutations if previous else 0,
         )
-        if self.rumours.take(rumour):
-            self._soon(now)
+        if self.rumours.merge(update):
+            self._expedite_next_round(now)
 
-    def _said_leave(self, now: float) -> None:
-        self._speak_of_me(RumourKind.LEFT)
+    def _on_shutdown(self, now: float) -> None:
+        self._gossip_own_status(MemberStatus.LEFT)
 
-    def _raised(self) -> None:
+    def _on_own_incarnation_raised(self) -> None:
         self.refutations = 0
-        self._speak_of_me(RumourKind.ALIVE)
-
-    def _speak_of_me(self, kind: RumourKind) -> None:
-        about = self.me._replace(incarnation=0)
-        me = self.me
-        self.rumours.take(Rumour(me.vm, me.incarnation, kind, self.refutations, about))
+        self._gossip_own_status(MemberStatus.ALIVE)
+
+    def _gossip_own_status(self, status: MemberStatus) -> None:
+        vm_record = self.local_vm._replace(incarnation=0)
+        local_vm = self.local_vm
+        self.rumours.merge(
+            MemberUpdate(
+                local_vm.vm, local_vm.incarnation, status, self.refutations, vm_record
+            )
+        )
 
-    def _soon(self, now: float) -> None:
-        """Pass news on before the next round is due."""
-        self.next_round = min(self.next_round, now + EAGER_SECONDS)
+    def _expedite_next_round(self, now: float) -> None:
+        """Bring the next heartbeat round forward to send new updates early."""
+        self.next_round = min(self.next_round, now + UPDATE_DELAY_SECONDS)
 
-    def _choose_neighbours(self, now: float) -> None:
-        believed = [
+    def _update_neighbours(self, now: float) -> None:
+        alive_vms = [
             peer.vm
             for peer in self.peers.values()
-            if not peer.left and self.rumours.says_alive(peer.vm.vm)
+            if not peer.left and self.rumours.is_alive(peer.vm.vm)
         ]
-        key = frozenset(vm.vm for vm in believed)
-        if key == self.ring_key:
+        ring_members = frozenset(vm.vm for vm in alive_vms)
+        if ring_members == self.ring_members:
             return
-        self.ring_key = key
-        self.touched |= self.neighbours
-        chosen = ring_neighbours(self.me, believed, self.settings.fanout)
-        for vm in sorted(chosen - self.neighbours):
+        self.ring_members = ring_members
+        self.peers_to_update |= self.neighbours
+        neighbours = ring_neighbours(self.local_vm, alive_vms, self.settings.fanout)
+        for vm in sorted(neighbours - self.neighbours):
             peer = self.peers[vm]
-            peer.hold_until = NEVER
-            peer.refused = False
-            if peer.live:
-                peer.contact = max(peer.contact, now)
-        self.neighbours = chosen
+            peer.hold_down_until = NEVER
+            peer.excludes_us = False
+            if peer.in_view:
+                peer.last_echo = max(peer.last_echo, now)
+        self.neighbours = neighbours
--- a/libs/membership/tests/test_coordinator.py
+++ b/libs/membership/tests/test_coordinator.py
@@ -19,11 +19,11 @@
 from kumquatmux_membership.phases import Phase, version_of
 
 
-def vm(name, zone="cnx-a"):
+def make_vm(name, zone="cnx-a"):
     return Vm(VmId(name), ZoneName(zone), Endpoint("127.0.0.1", 1), Endpoint("::", 2))
 
 
-def lease(session=1):
+def make_lease(session=1):
     endpoint = Endpoint("127.0.0.9", 80)
     return Lease(
         ServerId(str(endpoint)),
@@ -38,23 +38,25 @@
     )
 
 
-class Pair:
-    """Two or more coordinators that hear each other at once, save those cut."""
+class CoordinatorNetwork:
+    """Coordinators whose messages arrive at once, except over cut paths."""
 
     def __init__(self, vms):
-        self.nodes = {
-            one.vm: Coordinator(
-                one, tuple(vms), MembershipSettings(), LeaseSettings(), Random(1)
+        self.coordinators = {
+            vm.vm: Coordinator(
+                vm, tuple(vms), MembershipSettings(), LeaseSettings(), Random(1)
             )
-            for one in vms
+            for vm in vms
         }
         self.cut = set()
         self.now = 100.0
-        self.seen = {name: [] for name in self.nodes}
+        self.actions_by_vm = {name: [] for name in self.coordinators}
 
     def handle(self, name, event):
-        actions = self.nodes[name].handle(event, self.now)
-        self.seen[name] += [one for one in actions if not isinstance(one, SendMessage)]
+        actions = self.coordinators[name].handle(event, self.now)
+        self.actions_by_vm[name] += [
+            action for action in actions if not isinstance(action, SendMessage)
+        ]
         for action in actions:
             if isinstance(action, SendMessage) and (name, action.vm) not in self.cut:
                 self.handle(action.vm, Received(action.message))
@@ -63,42 +65,48 @@
     def run(self, seconds):
         for _ in range(round(seconds * 10)):
             self.now += 0.1
-            for name in self.nodes:
+            for name in self.coordinators:
                 self.handle(name, Tick())
 
-    def latest(self, name, kind):
-        return [one for one in self.seen[name] if isinstance(one, kind)][-1]
+    def latest_action(self, name, kind):
+        return [
+            action for action in self.actions_by_vm[name] if isinstance(action, kind)
+        ][-1]
 
     def call(self, name, event):
         return self.handle(name, event)[0]
 
 
-def announced(pair, name, what):
-    refused = pair.call(name, Announce(what))
-    return pair.call(name, Announce(what, refused.ticket))
+def announce_with_ticket(network, name, lease):
+    refused = network.call(name, Announce(lease))
+    return network.call(name, Announce(lease, refused.ticket))
 
 
-def test_three_vms_see_each_other_and_lose_a_silent_one_within_3_seconds():
-    pair = Pair([vm("a"), vm("b"), vm("c")])
-    pair.run(2)
-    assert [one.vm for one in pair.latest("a", ViewChanged).live] == ["a", "b", "c"]
-    pair.cut = {("c", "a"), ("c", "b")}
-    pair.run(3)
+def test_three_vms_view_each_other_and_lose_a_silent_one_in_3_seconds():
+    network = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("c")])
+    network.run(2)
+    assert [vm.vm for vm in network.latest_action("a", ViewChanged).live] == [
+        "a",
+        "b",
+        "c",
+    ]
+    network.cut = {("c", "a"), ("c", "b")}
+    network.run(3)
     for name in ("a", "b"):
-        view = pair.latest(name, ViewChanged)
-        assert [one.vm for one in view.live] == ["a", "b"]
+        view = network.latest_action(name, ViewChanged)
+        assert [vm.vm for vm in view.live] == ["a", "b"]
         assert view.lost == ("c",)
-    assert [one.vm for one in pair.latest("c", ViewChanged).live] == ["c"]
+    assert [vm.vm for vm in network.latest_action("c", ViewChanged).live] == ["c"]
 
 
-def test_a_lease_is_known_everywhere_and_a_leave_ends_it():
-    pair = Pair([vm("a"), vm("b"), vm("z", "lpg-a")])
-    pair.run(2)
-    answer = announced(pair, "a", lease())
+def test_a_lease_reaches_all_vms_and_a_leave_ends_it():
+    network = CoordinatorNetwork([make_vm("a"), make_vm("b"), make_vm("z", "lpg-a")])
+    network.run(2)
+    answer = announce_with_ticket(network, "a", make_lease())
     assert answer.state == LeaseState.GRANTED
-    for name in pair.nodes:
-        assert pair.latest(name, ServersChanged).fresh == (lease(),)
-    assert isinstance(pair.call("b", Depart(lease().server)), LeaseAnswer)
-    assert pair.call("b", Depart(lease().server)).state == LeaseState.IN_FORCE
-    for name in pair.nodes:
-        assert pair.latest(name, ServersChanged) == ServersChanged((), ())
+    for name in network.coordinators:
+        assert network.latest_action(name, ServersChanged).fresh == (make_lease(),)
+    assert isinstance(network.call("b", Depart(make_lease().server)), LeaseAnswer)
+    assert network.call("b", Depart(make_lease().server)).state == LeaseState.IN_FORCE
+    for name in network.coordinators:
+        assert network.latest_action(name, ServersChanged) == ServersChanged((), ())
