--- a/libs/placement/src/kumquatmux_placement/pool.py
+++ b/libs/placement/src/kumquatmux_placement/pool.py
@@ -79,17 +79,17 @@
             load.release_expired_slots(now)
 
     def choose_server(
-        self, size: SizeClass, since: float, now: float
+        self, run_time_class: SizeClass, queued_at: float, now: float
     ) -> SelectedServer | None:
         """Return a server for work queued at ``queued_at``, if it can be placed now."""
-        if size is SizeClass.LONG and not self.has_slots_for_long_work(now):
+        if run_time_class is SizeClass.LONG and not self.has_slots_for_long_work(now):
             return None
         return select_server(
             self.server_loads.values(),
             self.settings,
             self.random,
             now,
-            allow_other_zones=self.may_spill_to_other_zone(since, now),
+            allow_other_zones=self.may_spill_to_other_zone(queued_at, now),
         )
 
     def record_short_work(self, now: float) -> None:
@@ -180,8 +180,6 @@
         if not self.settings.zone:
             return []
         link_s = self.settings.link_cost_ms / 1000.0
-        queue_heads = [next(iter(line.values()), None) for line in self.line.queues()]
-        times = [
-            waiting.queued_at + link_s for waiting in queue_heads if waiting is not None
-        ]
+        queue_heads = [next(iter(queue.values()), None) for queue in self.line.queues()]
+        times = [head.queued_at + link_s for head in queue_heads if head is not None]
         return [time for time in times if time > now]
