--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -116,7 +116,7 @@
             raise ValueError(
                 "a read lease requires start_timeout_s >= election_timeout_s"
             )
-        self.heard_at = start_timeout_s - settings.election_timeout_s
+        self.last_leader_contact_at = start_timeout_s - settings.election_timeout_s
         self.next_join_request_at = 0.0
         self.schedule_elections()
         self.last_snapshot_index = durable_state.snapshot.log_index
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -293,7 +293,7 @@
         a member may never have been committed.
         """
         core = self.core
-        since_contact_s = core.clock - core.heard_at
+        since_contact_s = core.clock - core.last_leader_contact_at
         has_no_leader = since_contact_s >= core.settings.election_timeout_s
         return core.leadership is None and (has_no_leader or core.role == Role.OUTSIDER)
 
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -162,7 +162,7 @@
 def _has_live_leader(core: ReplicaCore) -> bool:
     if core.leadership is not None:
         return True
-    return core.clock - core.heard_at < core.settings.election_timeout_s
+    return core.clock - core.last_leader_contact_at < core.settings.election_timeout_s
 
 
 def _wins_pre_vote_tie(core: ReplicaCore, message: VoteRequest) -> bool:
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -95,7 +95,9 @@
             return False
         if core.leadership is not None:
             return core.commit >= core.leadership.first_index
-        is_fresh = core.clock - core.heard_at < core.settings.election_timeout_s
+        is_fresh = (
+            core.clock - core.last_leader_contact_at < core.settings.election_timeout_s
+        )
         return core.leader is not None and is_fresh
 
     def set_peers(self, vms: tuple[VmId, ...]) -> None:
