--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -102,7 +102,7 @@
         self.vote_record = durable_state.vote
         self.log = Log(durable_state.snapshot, durable_state.entries)
         self.persisted_index = self.log.last_index
-        self.commit = durable_state.snapshot.log_index
+        self.commit_index = durable_state.snapshot.log_index
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
         self.leadership: LeaderState | None = None
@@ -159,7 +159,7 @@
         A voter whose removal is not committed may still have to lead, because its log
         may be the most complete one.
         """
-        committed_configuration = self.log.configuration_at(self.commit)
+        committed_configuration = self.log.configuration_at(self.commit_index)
         return (
             self.replica_id
             in self.log.configuration.voters + committed_configuration.voters
@@ -253,7 +253,7 @@
     def append(self, entries: tuple[Entry, ...]) -> None:
         """Append entries to the log and request that they be made durable."""
         first_index = entries[0].log_index
-        if first_index <= self.commit:
+        if first_index <= self.commit_index:
             raise AssertionError(f"cannot replace committed entry {first_index}")
         self.persisted_index = min(self.persisted_index, first_index - 1)
         for pending_persist in self.pending_persists.values():
@@ -317,10 +317,10 @@
 
     def commit_up_to(self, index: int) -> None:
         """Commit entries, request their application and answer their proposals."""
-        if index <= self.commit:
+        if index <= self.commit_index:
             return
-        entries = self.log.entries_between(self.commit + 1, index)
-        self.commit = index
+        entries = self.log.entries_between(self.commit_index + 1, index)
+        self.commit_index = index
         data_entries = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
         if data_entries:
             self.actions.append(Apply(data_entries))
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -22,7 +22,7 @@
         return
     last_message_index = message.previous_index + len(message.entries)
     if last_message_index <= core.log.base_index:
-        _send_append_reply(core, message, is_matched=True, log_index=core.commit)
+        _send_append_reply(core, message, is_matched=True, log_index=core.commit_index)
         return
     previous_index = message.previous_index
     is_before_base = previous_index < core.log.base_index
@@ -44,8 +44,8 @@
             core, message, is_matched=False, log_index=core.log.last_index + 1
         )
         return
-    if message.log_index <= core.commit:
-        _send_append_reply(core, message, is_matched=True, log_index=core.commit)
+    if message.log_index <= core.commit_index:
+        _send_append_reply(core, message, is_matched=True, log_index=core.commit_index)
         return
     incoming = core.incoming_snapshot
     is_different_snapshot = incoming is None or incoming.log_index != message.log_index
@@ -77,7 +77,7 @@
         core.persisted_index = snapshot.log_index
         for pending_persist in core.pending_persists.values():
             pending_persist.last_index = snapshot.log_index
-    core.commit = snapshot.log_index
+    core.commit_index = snapshot.log_index
     core.last_snapshot_index = snapshot.log_index
     core.persist(snapshot=snapshot, keep_entries=is_in_log)
     core.actions.append(InstallSnapshot(snapshot))
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -63,7 +63,7 @@
 
 def answer_read(core: ReplicaCore, leader_state: LeaderState, token: str) -> None:
     """Answer a read at once under the lease, else after a quorum has replied."""
-    if core.commit < leader_state.first_index:
+    if core.commit_index < leader_state.first_index:
         problem = Problem(
             "not-ready", "the leader has not committed an entry of its term yet"
         )
@@ -71,7 +71,7 @@
         return
     if leader_state.lease_expires_at(core.log.configuration, core.now) > core.now:
         core.actions.append(
-            Reply(token, Outcome.CURRENT, core.commit, None, core.replica_id)
+            Reply(token, Outcome.CURRENT, core.commit_index, None, core.replica_id)
         )
         return
     leader_state.pending_reads.append(PendingRead(token, leader_state.round + 1))
@@ -203,7 +203,7 @@
     quorum_index = leader_state.quorum_match_index(
         core.log.configuration, core.persisted_index
     )
-    if quorum_index <= core.commit or core.log.term_at(quorum_index) != core.term:
+    if quorum_index <= core.commit_index or core.log.term_at(quorum_index) != core.term:
         return
     core.commit_up_to(quorum_index)
     if core.log.configuration_index <= quorum_index:
@@ -213,7 +213,7 @@
             return
     for member, progress in leader_state.progress.items():
         needs_commit_index = (
-            progress.sent_commit_index < core.commit <= progress.match_index
+            progress.sent_commit_index < core.commit_index <= progress.match_index
         )
         if needs_commit_index:
             send_next_message(core, leader_state, member, progress)
@@ -231,7 +231,11 @@
     for pending_read in pending_reads:
         if pending_read.round <= quorum_round:
             reply = Reply(
-                pending_read.token, Outcome.CURRENT, core.commit, None, core.replica_id
+                pending_read.token,
+                Outcome.CURRENT,
+                core.commit_index,
+                None,
+                core.replica_id,
             )
             core.actions.append(reply)
 
@@ -257,8 +261,8 @@
 
 
 def _can_change_membership(core: ReplicaCore, leader_state: LeaderState) -> bool:
-    has_committed_in_term = core.commit >= leader_state.first_index
-    return has_committed_in_term and core.commit >= core.log.configuration_index
+    has_committed_in_term = core.commit_index >= leader_state.first_index
+    return has_committed_in_term and core.commit_index >= core.log.configuration_index
 
 
 def _advance_membership(core: ReplicaCore, leader_state: LeaderState) -> None:
@@ -266,7 +270,7 @@
     caught_up_learners = frozenset(
         learner
         for learner in configuration.learners
-        if leader_state.progress[learner].match_index >= core.commit
+        if leader_state.progress[learner].match_index >= core.commit_index
     )
     live_members = leader_state.live_members(core.clock)
     join_requests = leader_state.recent_join_requests(core.clock)
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -90,7 +90,7 @@
         configuration = core.log.configuration
         leader_state = core.leadership
         voting_vms = sorted(voter.vm for voter in configuration.voters)
-        is_configuration_committed = core.commit >= core.log.configuration_index
+        is_configuration_committed = core.commit_index >= core.log.configuration_index
         is_whole = is_configuration_committed and voting_vms == sorted(
             configuration.vms
         )
@@ -105,14 +105,14 @@
             lagging_members = [
                 progress
                 for progress in member_progress
-                if progress.match_index < core.commit
+                if progress.match_index < core.commit_index
             ]
             is_whole = is_whole and not lagging_members
         return ReplicaStatus(
             core.role,
             core.term,
             core.leader,
-            core.commit,
+            core.commit_index,
             core.log.last_index,
             core.log.snapshot.log_index,
             configuration,
@@ -188,7 +188,7 @@
         if event.log_index <= core.log.snapshot.log_index:
             return
         term = core.log.term_at(event.log_index)
-        if term is None or event.log_index > core.commit:
+        if term is None or event.log_index > core.commit_index:
             raise AssertionError(
                 f"no committed entry at snapshot index {event.log_index}"
             )
--- a/libs/agreement/src/kumquatmux_agreement/replication.py
+++ b/libs/agreement/src/kumquatmux_agreement/replication.py
@@ -26,7 +26,7 @@
         progress.next_index, core.log.last_index, core.settings.batch_bytes
     )
     progress.next_index += len(entries)
-    progress.sent_commit_index = core.commit
+    progress.sent_commit_index = core.commit_index
     message = AppendRequest(
         core.cluster,
         core.replica_id,
@@ -35,7 +35,7 @@
         previous_index,
         previous_term,
         entries,
-        core.commit,
+        core.commit_index,
         leader_state.round,
     )
     core.send(message, member.vm)
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -356,9 +356,9 @@
     driver.confirm_persists()
     driver.receive_append_reply(B, log_index=1)
     driver.receive_append_reply(C, log_index=1)
-    assert driver.replica.core.commit == 0
+    assert driver.replica.core.commit_index == 0
     driver.receive_append_reply(B, log_index=2)
-    assert driver.replica.core.commit == 2
+    assert driver.replica.core.commit_index == 2
 
 
 def test_isolated_leader_steps_down_and_refuses_proposals():
@@ -578,7 +578,7 @@
     driver.handle(Propose(b"x", "t"))
     driver.confirm_persists()
     driver.receive_append_reply(B)
-    commit_index = driver.replica.core.commit
+    commit_index = driver.replica.core.commit_index
     driver.handle(SnapshotTaken(commit_index, b"another"))
     driver.confirm_persists()
     term = driver.replica.core.term
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -91,10 +91,10 @@
     def is_current(self) -> bool:
         """Return whether a leader of now has confirmed what is applied here."""
         core = self.replica.core
-        if core.log.term_at(core.commit) != core.term:
+        if core.log.term_at(core.commit_index) != core.term:
             return False
         if core.leadership is not None:
-            return core.commit >= core.leadership.first_index
+            return core.commit_index >= core.leadership.first_index
         is_fresh = (
             core.clock - core.last_leader_contact_at < core.settings.election_timeout_s
         )
