--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -86,7 +86,7 @@
         self.round_sent_at: dict[int, float] = {}
         self.next_heartbeat_at = steady_now
         self.leading_since = steady_now
-        self.first_index = log.last_index + 1
+        self.term_start_index = log.last_index + 1
         self.track_members(log.configuration, log.last_index + 1, steady_now)
         self.begin_round(now)
 
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -63,7 +63,7 @@
 
 def answer_read(core: ReplicaCore, leader_state: LeaderState, token: str) -> None:
     """Answer a read at once under the lease, else after a quorum has replied."""
-    if core.commit_index < leader_state.first_index:
+    if core.commit_index < leader_state.term_start_index:
         problem = Problem(
             "not-ready", "the leader has not committed an entry of its term yet"
         )
@@ -261,7 +261,7 @@
 
 
 def _can_change_membership(core: ReplicaCore, leader_state: LeaderState) -> bool:
-    has_committed_in_term = core.commit_index >= leader_state.first_index
+    has_committed_in_term = core.commit_index >= leader_state.term_start_index
     return has_committed_in_term and core.commit_index >= core.log.configuration_index
 
 
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -94,7 +94,7 @@
         if core.log.term_at(core.commit_index) != core.term:
             return False
         if core.leadership is not None:
-            return core.commit_index >= core.leadership.first_index
+            return core.commit_index >= core.leadership.term_start_index
         is_fresh = (
             core.clock - core.last_leader_contact_at < core.settings.election_timeout_s
         )
