--- a/libs/agreement/src/kumquatmux_agreement/messages.py
+++ b/libs/agreement/src/kumquatmux_agreement/messages.py
@@ -204,4 +204,4 @@
 }
 """Message types by kind, for the codec registry of a channel."""
 
-MESSAGES = registry(MESSAGE_TYPES)
+MESSAGE_REGISTRY = registry(MESSAGE_TYPES)
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -33,8 +33,8 @@
     Tick,
 )
 from kumquatmux_agreement.messages import (
+    MESSAGE_REGISTRY,
     MESSAGE_TYPES,
-    MESSAGES,
     AppendReply,
     AppendRequest,
     JoinRequest,
@@ -179,7 +179,7 @@
     }
     assert set(messages_by_type) == set(MESSAGE_TYPES.values())
     for message in messages_by_type.values():
-        assert MESSAGES.decode(MESSAGES.encode(message)).ok == message
+        assert MESSAGE_REGISTRY.decode(MESSAGE_REGISTRY.encode(message)).ok == message
 
 
 def test_follower_acknowledges_only_persisted_entries():
@@ -605,7 +605,7 @@
         driver.receive_append_reply(C)
     requests = driver.sent_messages(AppendRequest)
     assert len(requests) <= 2 * 2 * 10 + 2
-    assert max(len(MESSAGES.encode(request)) for request in requests) < 100
+    assert max(len(MESSAGE_REGISTRY.encode(request)) for request in requests) < 100
 
 
 def test_stopping_leader_transfers_leadership_to_a_voter_with_its_log():
--- a/libs/lab/src/kumquatmux_lab/benches/agreement.py
+++ b/libs/lab/src/kumquatmux_lab/benches/agreement.py
@@ -30,7 +30,7 @@
     TakeSnapshot,
     Tick,
 )
-from kumquatmux_agreement.messages import MESSAGES
+from kumquatmux_agreement.messages import MESSAGE_REGISTRY
 from kumquatmux_agreement.replica import Replica
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core import decisions
@@ -107,9 +107,9 @@
     def _do(self, node: Node, action: Any) -> None:
         match action:
             case Send(to, message):
-                data = MESSAGES.encode(message)
+                data = MESSAGE_REGISTRY.encode(message)
                 node.sent_bytes += len(data)
-                self.queue.append((to, Received(MESSAGES.decode(data).ok)))
+                self.queue.append((to, Received(MESSAGE_REGISTRY.decode(data).ok)))
             case Persist(number):
                 if node.store.write(action).is_error():
                     raise OSError("the disk of the benchmark failed")
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
@@ -25,7 +25,7 @@
     TakeSnapshot,
     Tick,
 )
-from kumquatmux_agreement.messages import MESSAGES, Message
+from kumquatmux_agreement.messages import MESSAGE_REGISTRY, Message
 from kumquatmux_agreement.replica import Replica
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.identity import VmId
@@ -242,10 +242,10 @@
 
     def send(self, sender: VmId, to: VmId, message: Message) -> None:
         """Carry a message as bytes."""
-        data = MESSAGES.encode(message)
+        data = MESSAGE_REGISTRY.encode(message)
         node = self.nodes[to]
         self.network.carry(
-            sender, to, lambda: node.give(Received(MESSAGES.decode(data).ok))
+            sender, to, lambda: node.give(Received(MESSAGE_REGISTRY.decode(data).ok))
         )
 
     def leader(self) -> Node | None:
