--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -110,7 +110,7 @@
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: Problem | None = None
         self.now = -math.inf
-        self.clock = 0.0
+        self.steady_now = 0.0
         start_timeout_s = settings.start_timeout_s
         if settings.lease_share and start_timeout_s < settings.election_timeout_s:
             raise ValueError(
@@ -168,7 +168,7 @@
     def random_election_deadline(self) -> float:
         """Return a random deadline between one and two election timeouts from now."""
         election_timeout_s = self.settings.election_timeout_s
-        return self.clock + election_timeout_s * (1 + self.random.random())
+        return self.steady_now + election_timeout_s * (1 + self.random.random())
 
     def schedule_elections(self) -> None:
         """Draw random times for the next pre-vote and for a retry after an election.
@@ -179,10 +179,10 @@
         """
         timeout_factor = 1 + self.random.random()
         self.election_deadline = (
-            self.clock + self.settings.start_timeout_s * timeout_factor
+            self.steady_now + self.settings.start_timeout_s * timeout_factor
         )
         self.election_retry_at = (
-            self.clock + self.settings.election_timeout_s * timeout_factor
+            self.steady_now + self.settings.election_timeout_s * timeout_factor
         )
 
     def advance_clock(self, now: float) -> None:
@@ -193,7 +193,7 @@
         """
         elapsed = now - self.now if math.isfinite(self.now) else 0.0
         self.now = now
-        self.clock += min(max(elapsed, 0.0), self.settings.clock_gap_s)
+        self.steady_now += min(max(elapsed, 0.0), self.settings.clock_gap_s)
         has_jumped = not 0.0 <= elapsed <= self.settings.clock_gap_s
         if has_jumped and self.leadership is not None:
             self.leadership.discard_send_times()
@@ -277,7 +277,7 @@
         if self.leadership is not None:
             next_index = self.log.last_index + 1
             self.leadership.track_members(
-                self.log.configuration, next_index, self.clock
+                self.log.configuration, next_index, self.steady_now
             )
         elif self.role not in (Role.CANDIDATE, Role.FAILED):
             self.set_role(self.passive_role(), self.leader)
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -94,7 +94,7 @@
         raise AssertionError(f"two leaders in term {message.term}")
     core.election = None
     core.set_role(core.passive_role(), message.sender)
-    core.last_leader_contact_at = core.clock
+    core.last_leader_contact_at = core.steady_now
     core.election_deadline = core.random_election_deadline()
     return True
 
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -29,7 +29,7 @@
 def become_leader(core: ReplicaCore) -> None:
     """Start to lead by appending an empty entry of the current term."""
     core.election = None
-    core.leadership = LeaderState(core.settings, core.log, core.clock, core.now)
+    core.leadership = LeaderState(core.settings, core.log, core.steady_now, core.now)
     core.set_role(Role.LEADER, core.replica_id)
     append_entry(core, EntryKind.EMPTY)
     broadcast(core)
@@ -96,7 +96,9 @@
         problem = Problem("membership-size", detail)
     elif not _can_change_membership(core, leader_state):
         problem = Problem("membership-busy", "another membership change is in progress")
-    elif not has_live_quorum(new_configuration, leader_state.live_members(core.clock)):
+    elif not has_live_quorum(
+        new_configuration, leader_state.live_members(core.steady_now)
+    ):
         problem = Problem("membership-quorum", "too few of the voters are live")
     if problem is not None:
         core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
@@ -108,9 +110,9 @@
 
 def tick(core: ReplicaCore, leader_state: LeaderState) -> None:
     """Step down without a live quorum; else send heartbeats and advance membership."""
-    live_members = leader_state.live_members(core.clock)
+    live_members = leader_state.live_members(core.steady_now)
     is_in_grace_period = (
-        core.clock - leader_state.leading_since < core.settings.election_timeout_s
+        core.steady_now - leader_state.leading_since < core.settings.election_timeout_s
     )
     if not is_in_grace_period and not has_live_quorum(
         core.log.configuration, live_members
@@ -118,7 +120,7 @@
         core.step_down("no quorum of voters is live")
         core.set_role(core.passive_role(), None)
         return
-    if core.clock >= leader_state.next_heartbeat_at:
+    if core.steady_now >= leader_state.next_heartbeat_at:
         broadcast(core)
     if _can_change_membership(core, leader_state):
         _advance_membership(core, leader_state)
@@ -130,7 +132,7 @@
     if leader_state is None:
         return
     leader_state.begin_round(core.now)
-    leader_state.next_heartbeat_at = core.clock + core.settings.heartbeat_s
+    leader_state.next_heartbeat_at = core.steady_now + core.settings.heartbeat_s
     for member, progress in leader_state.progress.items():
         progress.next_index = max(
             progress.match_index + 1, min(progress.next_index, _resend_index(progress))
@@ -156,7 +158,7 @@
     if leader_state is None or message.term != core.term:
         return
     sender = message.sender
-    progress = leader_state.record_reply(sender, message.round, core.clock)
+    progress = leader_state.record_reply(sender, message.round, core.steady_now)
     if progress is None:
         return
     if message.is_matched:
@@ -183,7 +185,7 @@
     leader_state = core.leadership
     if leader_state is None or message.term != core.term:
         return
-    progress = leader_state.record_reply(message.sender, message.round, core.clock)
+    progress = leader_state.record_reply(message.sender, message.round, core.steady_now)
     if progress is None or progress.snapshot is None:
         return
     if progress.snapshot.log_index != message.log_index:
@@ -272,8 +274,8 @@
         for learner in configuration.learners
         if leader_state.progress[learner].match_index >= core.commit_index
     )
-    live_members = leader_state.live_members(core.clock)
-    join_requests = leader_state.recent_join_requests(core.clock)
+    live_members = leader_state.live_members(core.steady_now)
+    join_requests = leader_state.recent_join_requests(core.steady_now)
     view = MembershipView(
         core.replica_id, join_requests, live_members, caught_up_learners
     )
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -97,7 +97,7 @@
         live_members: tuple[ReplicaId, ...] = ()
         has_lease = False
         if leader_state is not None:
-            live_members = tuple(sorted(leader_state.live_members(core.clock)))
+            live_members = tuple(sorted(leader_state.live_members(core.steady_now)))
             has_lease = (
                 leader_state.lease_expires_at(configuration, core.now) > core.now
             )
@@ -132,13 +132,13 @@
             leading.tick(core, core.leadership)
             return
         configuration = core.log.configuration
-        is_election_due = core.clock >= core.election_deadline
+        is_election_due = core.steady_now >= core.election_deadline
         is_sole_voter = (
             configuration.voters == (core.replica_id,) and core.election is None
         )
         if core.can_start_election and (is_election_due or is_sole_voter):
             voting.start_pre_vote(core)
-        if self._should_request_join() and core.clock >= core.next_join_request_at:
+        if self._should_request_join() and core.steady_now >= core.next_join_request_at:
             self._send_join_requests()
 
     @_handle_event.register
@@ -249,7 +249,7 @@
         if leader_state is None:
             return
         if message.cluster in (self.core.cluster, self.core.settings.cluster):
-            leader_state.join_requests[message.sender] = self.core.clock
+            leader_state.join_requests[message.sender] = self.core.steady_now
         else:
             log_decision(
                 "agreement-other-cluster",
@@ -274,7 +274,7 @@
         settings = self.core.settings
         leader_state = self.core.leadership
         oldest_snapshot_index = (
-            leader_state.oldest_sent_snapshot_index(self.core.clock)
+            leader_state.oldest_sent_snapshot_index(self.core.steady_now)
             if leader_state
             else None
         )
@@ -293,13 +293,13 @@
         a member may never have been committed.
         """
         core = self.core
-        since_contact_s = core.clock - core.last_leader_contact_at
+        since_contact_s = core.steady_now - core.last_leader_contact_at
         has_no_leader = since_contact_s >= core.settings.election_timeout_s
         return core.leadership is None and (has_no_leader or core.role == Role.OUTSIDER)
 
     def _send_join_requests(self) -> None:
         core = self.core
-        core.next_join_request_at = core.clock + core.settings.join_period_s
+        core.next_join_request_at = core.steady_now + core.settings.join_period_s
         for vm in core.settings.peers:
             core.send(JoinRequest(core.cluster, core.replica_id), vm)
 
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -108,7 +108,7 @@
 
 def transfer_leadership(core: ReplicaCore, leader_state: LeaderState) -> None:
     """Ask a live voter whose log is complete to lead instead, if there is one."""
-    live_members = leader_state.live_members(core.clock)
+    live_members = leader_state.live_members(core.steady_now)
     for voter in core.log.configuration.voters:
         progress = leader_state.progress.get(voter)
         if progress is None or voter not in live_members:
@@ -162,7 +162,9 @@
 def _has_live_leader(core: ReplicaCore) -> bool:
     if core.leadership is not None:
         return True
-    return core.clock - core.last_leader_contact_at < core.settings.election_timeout_s
+    return (
+        core.steady_now - core.last_leader_contact_at < core.settings.election_timeout_s
+    )
 
 
 def _wins_pre_vote_tie(core: ReplicaCore, message: VoteRequest) -> bool:
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -679,6 +679,8 @@
         replica.handle(Tick(), 100.2)
         vote_reply = VoteReply("lab", B, A, replica.core.term + 1, True, True)
         replica.handle(Received(vote_reply), 100.21)
-        retry_delays.add(round(replica.core.election_deadline - replica.core.clock, 2))
+        retry_delays.add(
+            round(replica.core.election_deadline - replica.core.steady_now, 2)
+        )
     assert len(retry_delays) > 10
     assert max(retry_delays) - min(retry_delays) > 0.3
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -96,7 +96,8 @@
         if core.leadership is not None:
             return core.commit_index >= core.leadership.term_start_index
         is_fresh = (
-            core.clock - core.last_leader_contact_at < core.settings.election_timeout_s
+            core.steady_now - core.last_leader_contact_at
+            < core.settings.election_timeout_s
         )
         return core.leader is not None and is_fresh
 
