--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -105,7 +105,7 @@
         self.commit_index = durable_state.snapshot.log_index
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
-        self.leadership: LeaderState | None = None
+        self.leader_state: LeaderState | None = None
         self.election: Election | None = None
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: Problem | None = None
@@ -195,8 +195,8 @@
         self.now = now
         self.steady_now += min(max(elapsed, 0.0), self.settings.clock_gap_s)
         has_jumped = not 0.0 <= elapsed <= self.settings.clock_gap_s
-        if has_jumped and self.leadership is not None:
-            self.leadership.discard_send_times()
+        if has_jumped and self.leader_state is not None:
+            self.leader_state.discard_send_times()
 
     def passive_role(self) -> Role:
         """Return the role of this replica as neither leader nor candidate."""
@@ -274,9 +274,9 @@
             voters=",".join(map(str, self.log.configuration.voters)),
             learners=",".join(map(str, self.log.configuration.learners)),
         )
-        if self.leadership is not None:
+        if self.leader_state is not None:
             next_index = self.log.last_index + 1
-            self.leadership.track_members(
+            self.leader_state.track_members(
                 self.log.configuration, next_index, self.steady_now
             )
         elif self.role not in (Role.CANDIDATE, Role.FAILED):
@@ -296,8 +296,8 @@
             reason: Why leadership ends, for the log and the replies.
         """
         self.election = None
-        leader_state = self.leadership
-        self.leadership = None
+        leader_state = self.leader_state
+        self.leader_state = None
         if leader_state is None:
             return
         log_decision("agreement-step-down", replica=self.replica_id, reason=reason)
@@ -324,7 +324,7 @@
         data_entries = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
         if data_entries:
             self.actions.append(Apply(data_entries))
-        if self.leadership is not None:
+        if self.leader_state is not None:
             self.reply_to_committed(entries)
         snapshot_due_index = self.last_snapshot_index + self.settings.snapshot_entries
         if index >= snapshot_due_index:
@@ -333,7 +333,7 @@
 
     def reply_to_committed(self, entries: tuple[Entry, ...]) -> None:
         """Answer the proposals and membership changes in committed entries."""
-        leader_state = self.leadership
+        leader_state = self.leader_state
         if leader_state is None:
             return
         for entry in entries:
--- a/libs/agreement/src/kumquatmux_agreement/following.py
+++ b/libs/agreement/src/kumquatmux_agreement/following.py
@@ -90,7 +90,7 @@
         return False
     if message.term > core.term:
         core.enter_term(message.term, message.sender)
-    if core.leadership is not None:
+    if core.leader_state is not None:
         raise AssertionError(f"two leaders in term {message.term}")
     core.election = None
     core.set_role(core.passive_role(), message.sender)
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -29,7 +29,7 @@
 def become_leader(core: ReplicaCore) -> None:
     """Start to lead by appending an empty entry of the current term."""
     core.election = None
-    core.leadership = LeaderState(core.settings, core.log, core.steady_now, core.now)
+    core.leader_state = LeaderState(core.settings, core.log, core.steady_now, core.now)
     core.set_role(Role.LEADER, core.replica_id)
     append_entry(core, EntryKind.EMPTY)
     broadcast(core)
@@ -128,7 +128,7 @@
 
 def broadcast(core: ReplicaCore) -> None:
     """Start a round and send each member its missing entries or a heartbeat."""
-    leader_state = core.leadership
+    leader_state = core.leader_state
     if leader_state is None:
         return
     leader_state.begin_round(core.now)
@@ -154,7 +154,7 @@
 
 def handle_append_reply(core: ReplicaCore, message: AppendReply) -> None:
     """Process a member's acknowledgement or rejection of entries."""
-    leader_state = core.leadership
+    leader_state = core.leader_state
     if leader_state is None or message.term != core.term:
         return
     sender = message.sender
@@ -172,7 +172,7 @@
             _lower_match_index(progress, sender, retry_index)
         progress.next_index = max(progress.match_index + 1, retry_index)
         send_next_message(core, leader_state, sender, progress)
-    if core.leadership is not leader_state:
+    if core.leader_state is not leader_state:
         return
     answer_confirmed_reads(core, leader_state)
     has_unsent_entries = progress.next_index <= core.log.last_index
@@ -182,7 +182,7 @@
 
 def handle_snapshot_reply(core: ReplicaCore, message: SnapshotReply) -> None:
     """Send the next chunk of a snapshot."""
-    leader_state = core.leadership
+    leader_state = core.leader_state
     if leader_state is None or message.term != core.term:
         return
     progress = leader_state.record_reply(message.sender, message.round, core.steady_now)
@@ -199,7 +199,7 @@
 
 def advance_commit(core: ReplicaCore) -> None:
     """Commit the entries that a quorum has persisted, if of the current term."""
-    leader_state = core.leadership
+    leader_state = core.leader_state
     if leader_state is None:
         return
     quorum_index = leader_state.quorum_match_index(
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -88,7 +88,7 @@
         """Return the replica's status for operators."""
         core = self.core
         configuration = core.log.configuration
-        leader_state = core.leadership
+        leader_state = core.leader_state
         voting_vms = sorted(voter.vm for voter in configuration.voters)
         is_configuration_committed = core.commit_index >= core.log.configuration_index
         is_whole = is_configuration_committed and voting_vms == sorted(
@@ -128,8 +128,8 @@
     @_handle_event.register
     def _(self, event: Tick) -> None:
         core = self.core
-        if core.leadership is not None:
-            leading.tick(core, core.leadership)
+        if core.leader_state is not None:
+            leading.tick(core, core.leader_state)
             return
         configuration = core.log.configuration
         is_election_due = core.steady_now >= core.election_deadline
@@ -143,21 +143,21 @@
 
     @_handle_event.register
     def _(self, event: Propose) -> None:
-        if self.core.leadership is None:
+        if self.core.leader_state is None:
             self._refuse(event, "not-leader", "this replica is not the leader")
             return
-        leading.propose(self.core, self.core.leadership, event.data, event.token)
+        leading.propose(self.core, self.core.leader_state, event.data, event.token)
 
     @_handle_event.register
     def _(self, event: Read) -> None:
-        if self.core.leadership is None:
+        if self.core.leader_state is None:
             self._refuse(event, "not-leader", "this replica is not the leader")
             return
-        leading.answer_read(self.core, self.core.leadership, event.token)
+        leading.answer_read(self.core, self.core.leader_state, event.token)
 
     @_handle_event.register
     def _(self, event: ChangeMembership) -> None:
-        leader_state = self.core.leadership
+        leader_state = self.core.leader_state
         if leader_state is None:
             self._refuse(event, "not-leader", "this replica is not the leader")
             return
@@ -165,8 +165,8 @@
 
     @_handle_event.register
     def _(self, event: HandOver) -> None:
-        if self.core.leadership is not None:
-            voting.transfer_leadership(self.core, self.core.leadership)
+        if self.core.leader_state is not None:
+            voting.transfer_leadership(self.core, self.core.leader_state)
 
     @_handle_event.register
     def _(self, event: Persisted) -> None:
@@ -245,7 +245,7 @@
 
     @_handle_message.register
     def _(self, message: JoinRequest) -> None:
-        leader_state = self.core.leadership
+        leader_state = self.core.leader_state
         if leader_state is None:
             return
         if message.cluster in (self.core.cluster, self.core.settings.cluster):
@@ -272,7 +272,7 @@
         kept, up to ``MAX_RETAINED_COMPACTIONS`` compaction intervals.
         """
         settings = self.core.settings
-        leader_state = self.core.leadership
+        leader_state = self.core.leader_state
         oldest_snapshot_index = (
             leader_state.oldest_sent_snapshot_index(self.core.steady_now)
             if leader_state
@@ -295,7 +295,9 @@
         core = self.core
         since_contact_s = core.steady_now - core.last_leader_contact_at
         has_no_leader = since_contact_s >= core.settings.election_timeout_s
-        return core.leadership is None and (has_no_leader or core.role == Role.OUTSIDER)
+        return core.leader_state is None and (
+            has_no_leader or core.role == Role.OUTSIDER
+        )
 
     def _send_join_requests(self) -> None:
         core = self.core
--- a/libs/agreement/src/kumquatmux_agreement/voting.py
+++ b/libs/agreement/src/kumquatmux_agreement/voting.py
@@ -100,7 +100,7 @@
     if (
         message.term == core.term
         and core.can_start_election
-        and core.leadership is None
+        and core.leader_state is None
     ):
         core.set_role(Role.CANDIDATE, None)
         _start_election(core, is_leadership_transfer=True)
@@ -160,7 +160,7 @@
 
 
 def _has_live_leader(core: ReplicaCore) -> bool:
-    if core.leadership is not None:
+    if core.leader_state is not None:
         return True
     return (
         core.steady_now - core.last_leader_contact_at < core.settings.election_timeout_s
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -108,7 +108,7 @@
         self, sender, *, round=None, log_index=None, is_matched=True
     ):
         core = self.replica.core
-        round_number = core.leadership.round if round is None else round
+        round_number = core.leader_state.round if round is None else round
         acknowledged_index = core.log.last_index if log_index is None else log_index
         reply = AppendReply(
             "lab",
@@ -403,7 +403,7 @@
 def test_read_needs_a_lease_or_an_answered_round(name, since_reply_s, jump_s, outcomes):
     driver = make_leader()
     driver.handle(Tick(), 0.1)
-    driver.replica.core.leadership.next_heartbeat_at = 0
+    driver.replica.core.leader_state.next_heartbeat_at = 0
     driver.handle(Tick(), 0.1)
     driver.receive_append_reply(B)
     driver.run_ticks(since_reply_s)
@@ -418,7 +418,7 @@
 def test_reply_to_an_earlier_round_does_not_confirm_a_read():
     driver = make_leader()
     driver.run_ticks(1.5)
-    earlier_round = driver.replica.core.leadership.round
+    earlier_round = driver.replica.core.leader_state.round
     driver.handle(Read("r"))
     driver.receive_append_reply(B, round=earlier_round)
     assert driver.replies() == []
@@ -583,7 +583,7 @@
     driver.confirm_persists()
     term = driver.replica.core.term
     for received_bytes in (2, 4):
-        round_number = driver.replica.core.leadership.round
+        round_number = driver.replica.core.leader_state.round
         reply = SnapshotReply("lab", C, A, term, 5, received_bytes, round_number)
         driver.handle(Received(reply))
     chunks = driver.sent_messages(SnapshotChunk)
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -66,7 +66,7 @@
     @property
     def is_leader(self) -> bool:
         """Whether this replica leads."""
-        return self.replica.core.leadership is not None
+        return self.replica.core.leader_state is not None
 
     @property
     def leader_vm(self) -> VmId | None:
@@ -93,8 +93,8 @@
         core = self.replica.core
         if core.log.term_at(core.commit_index) != core.term:
             return False
-        if core.leadership is not None:
-            return core.commit_index >= core.leadership.term_start_index
+        if core.leader_state is not None:
+            return core.commit_index >= core.leader_state.term_start_index
         is_fresh = (
             core.steady_now - core.last_leader_contact_at
             < core.settings.election_timeout_s
