--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -128,7 +128,7 @@
     @property
     def replica_id(self) -> ReplicaId:
         """Identity of this replica."""
-        return self.settings.replica
+        return self.settings.replica_id
 
     @property
     def term(self) -> int:
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -103,7 +103,7 @@
         other_members = [
             member
             for member in configuration.members
-            if member != self.settings.replica
+            if member != self.settings.replica_id
         ]
         progress_by_member = {
             member: self.progress.get(member) for member in other_members
@@ -152,7 +152,7 @@
 
         No other replica can become leader before that time.
         """
-        own_id = self.settings.replica
+        own_id = self.settings.replica_id
         acknowledged_times = [
             now if voter == own_id else self.progress[voter].acknowledged_sent_at
             for voter in configuration.voters
@@ -162,7 +162,7 @@
 
     def quorum_round(self, configuration: Configuration) -> int:
         """Return the latest round that a quorum has replied to."""
-        own_id = self.settings.replica
+        own_id = self.settings.replica_id
         rounds = [
             self.round if voter == own_id else self.progress[voter].acknowledged_round
             for voter in configuration.voters
@@ -178,7 +178,7 @@
             configuration: Configuration whose voters are counted.
             persisted_index: Last entry that the leader itself has persisted.
         """
-        own_id = self.settings.replica
+        own_id = self.settings.replica_id
         indexes = [
             persisted_index if voter == own_id else self.progress[voter].match_index
             for voter in configuration.voters
@@ -193,7 +193,7 @@
             for member, progress in self.progress.items()
             if progress.last_contact_at > contact_cutoff
         }
-        return frozenset(recent_members | {self.settings.replica})
+        return frozenset(recent_members | {self.settings.replica_id})
 
     def oldest_sent_snapshot_index(self, steady_now: float) -> int | None:
         """Return the lowest index of a snapshot that is being sent to a live member."""
@@ -217,7 +217,7 @@
             if requested_at > request_cutoff
         }
         self.join_requests = recent_requests
-        members = {*self.progress, self.settings.replica}
+        members = {*self.progress, self.settings.replica_id}
         return tuple(
             sorted(replica for replica in recent_requests if replica not in members)
         )
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -39,7 +39,7 @@
     """
 
     cluster: str
-    replica: ReplicaId
+    replica_id: ReplicaId
     peers: tuple[VmId, ...] = ()
     heartbeat_s: float = 0.5
     election_timeout_s: float = 2.0
--- a/libs/daemons/src/kumquatmux_daemons/control/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/core.py
@@ -86,7 +86,7 @@
     @property
     def vm(self) -> VmId:
         """This VM."""
-        return self.replica.replica.vm
+        return self.replica.replica_id.vm
 
 
 class Writer(Protocol):
--- a/libs/daemons/src/kumquatmux_daemons/control/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/daemon.py
@@ -117,7 +117,7 @@
     control = settings.control_peers()
     replica = ReplicaSettings(
         cluster=store.identity.cluster,
-        replica=ReplicaId(settings.vm, store.identity.folder),
+        replica_id=ReplicaId(settings.vm, store.identity.folder),
         peers=tuple(peer.vm for peer in control),
     )
     return ControlSettings(
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -166,7 +166,7 @@
         self._restore(restored.snapshot)
         log_decision(
             "replica-started",
-            replica=self.settings.replica,
+            replica=self.settings.replica_id,
             term=restored.vote.term,
             snapshot=restored.snapshot.log_index,
             entries=len(restored.entries),
--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -142,7 +142,7 @@
     """Return the replica's settings."""
     return ReplicaSettings(
         cluster=store.identity.cluster,
-        replica=ReplicaId(settings.vm, store.identity.folder),
+        replica_id=ReplicaId(settings.vm, store.identity.folder),
         peers=tuple(vm for vm in settings.seeds if vm != settings.vm),
         heartbeat_s=HEARTBEAT_S,
         election_timeout_s=ELECTION_S,
--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
@@ -107,7 +107,7 @@
         store = opened.ok
         replica = ReplicaSettings(
             cluster=CLUSTER,
-            replica=ReplicaId(self.vm, store.identity.folder),
+            replica_id=ReplicaId(self.vm, store.identity.folder),
             peers=tuple(vm for vm in world.seeds if vm != self.vm),
             heartbeat_s=0.12,
             election_timeout_s=0.6,
