--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -112,7 +112,7 @@
         self.now = -math.inf
         self.steady_now = 0.0
         start_timeout_s = settings.start_timeout_s
-        if settings.lease_share and start_timeout_s < settings.election_timeout_s:
+        if settings.lease_fraction and start_timeout_s < settings.election_timeout_s:
             raise ValueError(
                 "a read lease requires start_timeout_s >= election_timeout_s"
             )
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -157,7 +157,7 @@
             now if voter == own_id else self.progress[voter].acknowledged_sent_at
             for voter in configuration.voters
         ]
-        lease_duration = self.settings.election_timeout_s * self.settings.lease_share
+        lease_duration = self.settings.election_timeout_s * self.settings.lease_fraction
         return _quorum_value(acknowledged_times, configuration.quorum) + lease_duration
 
     def quorum_round(self, configuration: Configuration) -> int:
