--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -193,8 +193,8 @@
         """
         elapsed = now - self.now if math.isfinite(self.now) else 0.0
         self.now = now
-        self.steady_now += min(max(elapsed, 0.0), self.settings.clock_gap_s)
-        has_jumped = not 0.0 <= elapsed <= self.settings.clock_gap_s
+        self.steady_now += min(max(elapsed, 0.0), self.settings.max_event_gap_s)
+        has_jumped = not 0.0 <= elapsed <= self.settings.max_event_gap_s
         if has_jumped and self.leader_state is not None:
             self.leader_state.discard_send_times()
 
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -45,7 +45,7 @@
     election_timeout_s: float = 2.0
     start_timeout_s: float = 2.0
     lease_fraction: float = 0.6
-    clock_gap_s: float = 0.4
+    max_event_gap_s: float = 0.4
     join_period_s: float = 1.0
     snapshot_entries: int = 1024
     keep_entries: int = 128
