--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -326,7 +326,9 @@
             self.actions.append(Apply(data_entries))
         if self.leader_state is not None:
             self.reply_to_committed(entries)
-        snapshot_due_index = self.last_snapshot_index + self.settings.snapshot_entries
+        snapshot_due_index = (
+            self.last_snapshot_index + self.settings.snapshot_interval_entries
+        )
         if index >= snapshot_due_index:
             self.last_snapshot_index = index
             self.actions.append(TakeSnapshot(index))
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -282,7 +282,7 @@
             return settings.keep_entries
         needed_entries = min(
             snapshot_index - oldest_snapshot_index,
-            MAX_RETAINED_COMPACTIONS * settings.snapshot_entries,
+            MAX_RETAINED_COMPACTIONS * settings.snapshot_interval_entries,
         )
         return max(settings.keep_entries, needed_entries)
 
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings.py
@@ -47,7 +47,7 @@
         CLUSTER,
         ReplicaId(founders[0], ""),
         vms,
-        snapshot_entries=random.choice((4, 16, 1024)),
+        snapshot_interval_entries=random.choice((4, 16, 1024)),
         keep_entries=random.choice((0, 4)),
         chunk_bytes=random.choice((1000, 16384)),
         batch_bytes=random.choice((1, 4096)),
