--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -279,12 +279,12 @@
             else None
         )
         if oldest_snapshot_index is None:
-            return settings.keep_entries
+            return settings.retained_entries
         needed_entries = min(
             snapshot_index - oldest_snapshot_index,
             MAX_RETAINED_COMPACTIONS * settings.snapshot_interval_entries,
         )
-        return max(settings.keep_entries, needed_entries)
+        return max(settings.retained_entries, needed_entries)
 
     def _should_request_join(self) -> bool:
         """Return whether the replica is an outsider or hears from no leader.
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -48,7 +48,7 @@
     max_event_gap_s: float = 0.4
     join_period_s: float = 1.0
     snapshot_interval_entries: int = 1024
-    keep_entries: int = 128
+    retained_entries: int = 128
     batch_bytes: int = 262_144
     window_entries: int = 256
     chunk_bytes: int = 262_144
