--- a/libs/agreement/src/kumquatmux_agreement/events.py
+++ b/libs/agreement/src/kumquatmux_agreement/events.py
@@ -11,7 +11,7 @@
 from kumquatmux_core.problems import Problem
 
 
-class Received(NamedTuple):
+class MessageReceived(NamedTuple):
     """Event: a message from another replica has arrived.
 
     Attributes:
@@ -231,7 +231,7 @@
 
 
 Event = (
-    Received
+    MessageReceived
     | Tick
     | Propose
     | Read
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -17,12 +17,12 @@
     ChangeMembership,
     Event,
     HandOver,
+    MessageReceived,
     Outcome,
     Persisted,
     PersistFailed,
     Propose,
     Read,
-    Received,
     Reply,
     Role,
     SnapshotTaken,
@@ -198,7 +198,7 @@
         core.persist(snapshot=snapshot)
 
     @_handle_event.register
-    def _(self, event: Received) -> None:
+    def _(self, event: MessageReceived) -> None:
         message = event.message
         if isinstance(message, JoinRequest):
             self._handle_message(message)
--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -17,7 +17,14 @@
     Snapshot,
     VoteRecord,
 )
-from kumquatmux_agreement.events import Apply, Persist, Persisted, Received, Send, Tick
+from kumquatmux_agreement.events import (
+    Apply,
+    MessageReceived,
+    Persist,
+    Persisted,
+    Send,
+    Tick,
+)
 from kumquatmux_agreement.messages import VoteReply, VoteRequest
 from kumquatmux_agreement.replica import Replica
 from kumquatmux_agreement.settings import ReplicaSettings
@@ -87,7 +94,9 @@
                 pending_actions += self.replicas[vm].handle(persisted, now)
             elif isinstance(action, Send) and action.to in self.replicas:
                 delay_s = MESSAGE_DELAY_S * (1 + 0.3 * self.random.random())
-                self._schedule(now + delay_s, action.to, Received(action.message))
+                self._schedule(
+                    now + delay_s, action.to, MessageReceived(action.message)
+                )
             elif isinstance(action, Apply):
                 return True
         return False
@@ -102,7 +111,7 @@
 
 
 def pre_vote_request(to, sender, last_term=4):
-    return Received(VoteRequest("lab", sender, to, 5, 1, last_term, True, False))
+    return MessageReceived(VoteRequest("lab", sender, to, 5, 1, last_term, True, False))
 
 
 def granted_votes(actions):
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -19,13 +19,13 @@
     Apply,
     ChangeMembership,
     HandOver,
+    MessageReceived,
     Outcome,
     Persist,
     Persisted,
     PersistFailed,
     Propose,
     Read,
-    Received,
     Reply,
     Role,
     Send,
@@ -119,7 +119,7 @@
             acknowledged_index,
             round_number,
         )
-        return self.handle(Received(reply))
+        return self.handle(MessageReceived(reply))
 
 
 def make_leader(durable_state=None, **settings):
@@ -128,9 +128,9 @@
     driver.run_ticks(4.5)
     assert driver.role() == Role.CANDIDATE
     term = driver.replica.core.term
-    driver.handle(Received(VoteReply("lab", B, A, term + 1, True, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, term + 1, True, True)))
     driver.confirm_persists()
-    driver.handle(Received(VoteReply("lab", B, A, term + 1, False, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, term + 1, False, True)))
     driver.confirm_persists()
     assert driver.role() == Role.LEADER
     driver.receive_append_reply(B)
@@ -184,7 +184,7 @@
 
 def test_follower_acknowledges_only_persisted_entries():
     follower = ReplicaDriver()
-    follower.handle(Received(append_request(entries=(data_entry(1, 2),))))
+    follower.handle(MessageReceived(append_request(entries=(data_entry(1, 2),))))
     assert follower.sent_messages(AppendReply) == []
     follower.confirm_persists()
     assert follower.sent_messages(AppendReply)[0].log_index == 1
@@ -193,7 +193,7 @@
 def test_vote_is_granted_only_once_it_is_persisted():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
-    voter.handle(Received(vote_request()))
+    voter.handle(MessageReceived(vote_request()))
     assert voter.sent_messages(VoteReply) == []
     voter.confirm_persists()
     assert voter.sent_messages(VoteReply)[0].is_granted
@@ -202,7 +202,7 @@
 def test_restarted_voter_keeps_its_vote():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
-    voter.handle(Received(vote_request(sender=B)))
+    voter.handle(MessageReceived(vote_request(sender=B)))
     voter.confirm_persists()
     saved_votes = [
         action.vote
@@ -213,7 +213,7 @@
         durable_state=make_durable_state()._replace(vote=saved_votes[-1])
     )
     restarted_voter.run_ticks(2.5)
-    restarted_voter.handle(Received(vote_request(sender=C)))
+    restarted_voter.handle(MessageReceived(vote_request(sender=C)))
     restarted_voter.confirm_persists()
     assert not restarted_voter.sent_messages(VoteReply)[0].is_granted
 
@@ -262,7 +262,7 @@
     voter.run_ticks(wait_s)
     voter.confirm_persists()
     voter.actions.clear()
-    voter.handle(Received(message))
+    voter.handle(MessageReceived(message))
     voter.confirm_persists()
     assert [reply.is_granted for reply in voter.sent_messages(VoteReply)] == [
         is_granted
@@ -272,8 +272,8 @@
 def test_voter_refuses_while_it_hears_from_a_leader():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
-    voter.handle(Received(append_request()))
-    voter.handle(Received(vote_request(term=7, sender=C)))
+    voter.handle(MessageReceived(append_request()))
+    voter.handle(MessageReceived(vote_request(term=7, sender=C)))
     voter.confirm_persists()
     assert not voter.sent_messages(VoteReply)[-1].is_granted
     assert voter.replica.core.term == 2
@@ -282,9 +282,9 @@
 def test_clock_jump_does_not_end_the_vote_refusal_early():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
-    voter.handle(Received(append_request()))
+    voter.handle(MessageReceived(append_request()))
     voter.now += 3600
-    voter.handle(Received(vote_request(term=7, sender=C)))
+    voter.handle(MessageReceived(vote_request(term=7, sender=C)))
     assert voter.replica.core.term == 2
 
 
@@ -301,7 +301,7 @@
     replica = ReplicaDriver()
     replica.run_ticks(2.5)
     replica.actions.clear()
-    assert replica.handle(Received(message)) == []
+    assert replica.handle(MessageReceived(message)) == []
 
 
 @pytest.mark.parametrize(
@@ -317,7 +317,7 @@
         )
     )
     driver.run_ticks(2.5)
-    driver.handle(Received(append_request(cluster=message_cluster)))
+    driver.handle(MessageReceived(append_request(cluster=message_cluster)))
     assert (driver.replica.core.term == 2) == is_accepted
 
 
@@ -325,7 +325,7 @@
     candidate = ReplicaDriver()
     candidate.run_ticks(4.5)
     replacement = ReplicaId("b", "2")
-    candidate.handle(Received(VoteReply("lab", replacement, A, 2, True, True)))
+    candidate.handle(MessageReceived(VoteReply("lab", replacement, A, 2, True, True)))
     assert candidate.replica.core.election.is_pre_vote
 
 
@@ -350,9 +350,9 @@
     durable_state = make_durable_state(1, None, [data_entry(1, 1)])
     driver = ReplicaDriver(durable_state=durable_state)
     driver.run_ticks(4.5)
-    driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, True, True)))
     driver.confirm_persists()
-    driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, False, True)))
     driver.confirm_persists()
     driver.receive_append_reply(B, log_index=1)
     driver.receive_append_reply(C, log_index=1)
@@ -383,7 +383,9 @@
         driver.replica.core.log.term_at(last_index - 1),
     )
     driver.handle(
-        Received(append_request(9, previous_position, (winning_entry,), last_index))
+        MessageReceived(
+            append_request(9, previous_position, (winning_entry,), last_index)
+        )
     )
     driver.confirm_persists()
     assert driver.replies()[0].outcome == Outcome.UNKNOWN
@@ -427,9 +429,9 @@
 def test_new_leader_refuses_reads_before_its_first_commit():
     driver = ReplicaDriver()
     driver.run_ticks(4.5)
-    driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, True, True)))
     driver.confirm_persists()
-    driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, False, True)))
     driver.handle(Read("r"))
     assert driver.replies()[0].problem.code == "not-ready"
 
@@ -443,8 +445,8 @@
     assert driver.role() == Role.FAILED
     driver.actions.clear()
     driver.run_ticks(9)
-    driver.handle(Received(vote_request(term=9)))
-    driver.handle(Received(append_request(9)))
+    driver.handle(MessageReceived(vote_request(term=9)))
+    driver.handle(MessageReceived(append_request(9)))
     assert driver.actions == []
     driver.handle(Propose(b"x", "u"))
     assert driver.replies()[0].problem.code == "replica-failed"
@@ -515,7 +517,7 @@
     chunks = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
     for offset, data in chunks:
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
-        follower.handle(Received(chunk))
+        follower.handle(MessageReceived(chunk))
     follower.confirm_persists()
     assert [
         reply.received_bytes for reply in follower.sent_messages(SnapshotReply)
@@ -537,9 +539,9 @@
     )
     driver = ReplicaDriver(durable_state=durable_state)
     driver.run_ticks(4.5)
-    driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, True, True)))
     driver.confirm_persists()
-    driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, False, True)))
     driver.confirm_persists()
     for _ in range(30):
         driver.receive_append_reply(B)
@@ -564,7 +566,7 @@
 def test_leader_ignores_its_own_earlier_join_request():
     driver = make_leader()
     former_configuration = driver.replica.core.log.configuration
-    driver.handle(Received(JoinRequest("lab", A)))
+    driver.handle(MessageReceived(JoinRequest("lab", A)))
     driver.run_ticks(0.5)
     assert driver.replica.core.log.configuration == former_configuration
 
@@ -585,7 +587,7 @@
     for received_bytes in (2, 4):
         round_number = driver.replica.core.leader_state.round
         reply = SnapshotReply("lab", C, A, term, 5, received_bytes, round_number)
-        driver.handle(Received(reply))
+        driver.handle(MessageReceived(reply))
     chunks = driver.sent_messages(SnapshotChunk)
     assert [(chunk.log_index, chunk.offset) for chunk in chunks] == [
         (5, 0),
@@ -625,8 +627,8 @@
 
 def test_voter_starts_an_election_at_once_at_the_leaders_request():
     driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=2))
-    driver.handle(Received(append_request(sender=A, to=B)))
-    driver.handle(Received(StandNow("lab", A, B, 2)))
+    driver.handle(MessageReceived(append_request(sender=A, to=B)))
+    driver.handle(MessageReceived(StandNow("lab", A, B, 2)))
     driver.confirm_persists()
     requests = driver.sent_messages(VoteRequest)
     assert {request.term for request in requests} == {3}
@@ -638,7 +640,7 @@
 
 def test_stand_now_of_an_earlier_term_is_ignored():
     driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=3))
-    assert driver.handle(Received(StandNow("lab", A, B, 2))) == []
+    assert driver.handle(MessageReceived(StandNow("lab", A, B, 2))) == []
 
 
 @pytest.mark.parametrize("is_leadership_transfer", [False, True])
@@ -646,11 +648,11 @@
     is_leadership_transfer,
 ):
     voter = ReplicaDriver(replica_id=C, durable_state=make_durable_state(term=2))
-    voter.handle(Received(append_request(sender=A, to=C)))
+    voter.handle(MessageReceived(append_request(sender=A, to=C)))
     request = vote_request(term=3, sender=B, to=C)._replace(
         is_leadership_transfer=is_leadership_transfer
     )
-    voter.handle(Received(request))
+    voter.handle(MessageReceived(request))
     voter.confirm_persists()
     assert voter.sent_messages(VoteReply)[-1].is_granted == is_leadership_transfer
 
@@ -678,7 +680,7 @@
         replica.handle(Tick(), 100.0)
         replica.handle(Tick(), 100.2)
         vote_reply = VoteReply("lab", B, A, replica.core.term + 1, True, True)
-        replica.handle(Received(vote_reply), 100.21)
+        replica.handle(MessageReceived(vote_reply), 100.21)
         retry_delays.add(
             round(replica.core.election_deadline - replica.core.steady_now, 2)
         )
--- a/libs/daemons/src/kumquatmux_daemons/control/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/core.py
@@ -195,7 +195,7 @@
 
     @_on.register
     def _(self, event: FromReplica, now: float) -> None:
-        self._drive(agreement.Received(event.message), now)
+        self._drive(agreement.MessageReceived(event.message), now)
 
     @_on.register
     def _(self, event: FromCopy, now: float) -> None:
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -5,7 +5,13 @@
 from functools import singledispatchmethod
 from typing import Any, NamedTuple
 
-from kumquatmux_agreement.events import ChangeMembership, Propose, Read, Received, Reply
+from kumquatmux_agreement.events import (
+    ChangeMembership,
+    MessageReceived,
+    Propose,
+    Read,
+    Reply,
+)
 from kumquatmux_agreement.events import Outcome as ReplicaOutcome
 from kumquatmux_agreement.messages import Message as ReplicaMessage
 from kumquatmux_agreement.seats import Candidate, SeatsView, next_wanted, voters_for
@@ -122,7 +128,7 @@
     def message(self, sender: VmId, message: Any, now: float) -> list[Sent | Answered]:
         """Take a message of another VM."""
         if isinstance(message, ReplicaMessage):
-            self.agreed.give(Received(message), now)
+            self.agreed.give(MessageReceived(message), now)
         else:
             self._take(message, now)
         return self._effects(now)
--- a/libs/lab/src/kumquatmux_lab/benches/agreement.py
+++ b/libs/lab/src/kumquatmux_lab/benches/agreement.py
@@ -20,10 +20,10 @@
     Apply,
     Event,
     InstallSnapshot,
+    MessageReceived,
     Persist,
     Persisted,
     Propose,
-    Received,
     Reply,
     Send,
     SnapshotTaken,
@@ -109,7 +109,9 @@
             case Send(to, message):
                 data = MESSAGE_REGISTRY.encode(message)
                 node.sent_bytes += len(data)
-                self.queue.append((to, Received(MESSAGE_REGISTRY.decode(data).ok)))
+                self.queue.append(
+                    (to, MessageReceived(MESSAGE_REGISTRY.decode(data).ok))
+                )
             case Persist(number):
                 if node.store.write(action).is_error():
                     raise OSError("the disk of the benchmark failed")
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
@@ -13,10 +13,10 @@
     Apply,
     Event,
     InstallSnapshot,
+    MessageReceived,
     Persist,
     Persisted,
     PersistFailed,
-    Received,
     Reply,
     Role,
     RoleChanged,
@@ -245,7 +245,9 @@
         data = MESSAGE_REGISTRY.encode(message)
         node = self.nodes[to]
         self.network.carry(
-            sender, to, lambda: node.give(Received(MESSAGE_REGISTRY.decode(data).ok))
+            sender,
+            to,
+            lambda: node.give(MessageReceived(MESSAGE_REGISTRY.decode(data).ok)),
         )
 
     def leader(self) -> Node | None:
