--- a/libs/agreement/src/kumquatmux_agreement/events.py
+++ b/libs/agreement/src/kumquatmux_agreement/events.py
@@ -65,7 +65,7 @@
     token: str
 
 
-class HandOver(NamedTuple):
+class TransferLeadership(NamedTuple):
     """Event: the process is about to stop; a leader asks another voter to lead."""
 
 
@@ -236,7 +236,7 @@
     | Propose
     | Read
     | ChangeMembership
-    | HandOver
+    | TransferLeadership
     | Persisted
     | PersistFailed
     | SnapshotTaken
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -16,7 +16,6 @@
     Action,
     ChangeMembership,
     Event,
-    HandOver,
     MessageReceived,
     Outcome,
     Persisted,
@@ -27,6 +26,7 @@
     Role,
     SnapshotTaken,
     Tick,
+    TransferLeadership,
 )
 from kumquatmux_agreement.messages import (
     AppendReply,
@@ -164,7 +164,7 @@
         leading.change_membership(self.core, leader_state, event.vms, event.token)
 
     @_handle_event.register
-    def _(self, event: HandOver) -> None:
+    def _(self, event: TransferLeadership) -> None:
         if self.core.leader_state is not None:
             voting.transfer_leadership(self.core, self.core.leader_state)
 
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -18,7 +18,6 @@
 from kumquatmux_agreement.events import (
     Apply,
     ChangeMembership,
-    HandOver,
     MessageReceived,
     Outcome,
     Persist,
@@ -31,6 +30,7 @@
     Send,
     SnapshotTaken,
     Tick,
+    TransferLeadership,
 )
 from kumquatmux_agreement.messages import (
     MESSAGE_REGISTRY,
@@ -612,7 +612,7 @@
 
 def test_stopping_leader_transfers_leadership_to_a_voter_with_its_log():
     driver = make_leader()
-    driver.handle(HandOver())
+    driver.handle(TransferLeadership())
     requests = driver.sent_messages(StandNow)
     assert len(requests) == 1
     assert requests[0].to in (B, C)
@@ -621,7 +621,7 @@
 def test_leadership_is_not_transferred_to_a_voter_that_lacks_an_entry():
     driver = make_leader()
     driver.handle(Propose(b"x", "t"))
-    driver.handle(HandOver())
+    driver.handle(TransferLeadership())
     assert driver.sent_messages(StandNow) == []
 
 
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -11,7 +11,6 @@
     Action,
     Apply,
     Event,
-    HandOver,
     InstallSnapshot,
     Persist,
     Persisted,
@@ -23,6 +22,7 @@
     SnapshotTaken,
     TakeSnapshot,
     Tick,
+    TransferLeadership,
 )
 from kumquatmux_agreement.messages import Message
 from kumquatmux_agreement.replica import Replica
@@ -86,7 +86,7 @@
 
     def hand_over(self, now: float) -> None:
         """Ask another replica to lead, if this one does."""
-        self.give(HandOver(), now)
+        self.give(TransferLeadership(), now)
 
     def is_current(self) -> bool:
         """Return whether a leader of now has confirmed what is applied here."""
