--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -17,9 +17,9 @@
 from kumquatmux_agreement.events import (
     Action,
     Apply,
-    Outcome,
     Persist,
     Reply,
+    RequestOutcome,
     Role,
     RoleChanged,
     Send,
@@ -306,12 +306,12 @@
         )
         for token in leader_state.pending_proposals.values():
             self.actions.append(
-                Reply(token, Outcome.UNKNOWN, 0, unknown_problem, self.leader)
+                Reply(token, RequestOutcome.UNKNOWN, 0, unknown_problem, self.leader)
             )
         not_leader_problem = Problem("not-leader", f"the leader stepped down: {reason}")
         for read in leader_state.pending_reads:
             self.actions.append(
-                Reply(read.token, Outcome.REFUSED, 0, not_leader_problem)
+                Reply(read.token, RequestOutcome.REFUSED, 0, not_leader_problem)
             )
         self.election_deadline = self.random_election_deadline()
 
@@ -342,7 +342,11 @@
             token = leader_state.pending_proposals.pop(entry.log_index, None)
             if token is not None:
                 reply = Reply(
-                    token, Outcome.COMMITTED, entry.log_index, None, self.replica_id
+                    token,
+                    RequestOutcome.COMMITTED,
+                    entry.log_index,
+                    None,
+                    self.replica_id,
                 )
                 self.actions.append(reply)
 
--- a/libs/agreement/src/kumquatmux_agreement/events.py
+++ b/libs/agreement/src/kumquatmux_agreement/events.py
@@ -168,7 +168,7 @@
     log_index: int
 
 
-class Outcome(StrEnum):
+class RequestOutcome(StrEnum):
     """Outcome of a request.
 
     ``COMMITTED`` answers a proposal or a membership change, ``CURRENT`` a read.
@@ -195,7 +195,7 @@
     """
 
     token: str
-    outcome: Outcome
+    outcome: RequestOutcome
     log_index: int = 0
     problem: Problem | None = None
     leader: ReplicaId | None = None
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -4,7 +4,7 @@
 
 from kumquatmux_agreement.core import ReplicaCore
 from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, ReplicaId
-from kumquatmux_agreement.events import Outcome, Reply, Role
+from kumquatmux_agreement.events import Reply, RequestOutcome, Role
 from kumquatmux_agreement.leadership import (
     LeaderState,
     PendingRead,
@@ -54,7 +54,9 @@
     """Append data to the log, or refuse the request."""
     problem = _proposal_problem(core, leader_state, data)
     if problem is not None:
-        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
+        core.actions.append(
+            Reply(token, RequestOutcome.REFUSED, 0, problem, core.replica_id)
+        )
         return
     index = append_entry(core, EntryKind.DATA, data=data)
     leader_state.pending_proposals[index] = token
@@ -67,11 +69,15 @@
         problem = Problem(
             "not-ready", "the leader has not committed an entry of its term yet"
         )
-        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
+        core.actions.append(
+            Reply(token, RequestOutcome.REFUSED, 0, problem, core.replica_id)
+        )
         return
     if leader_state.lease_expires_at(core.log.configuration, core.now) > core.now:
         core.actions.append(
-            Reply(token, Outcome.CURRENT, core.commit_index, None, core.replica_id)
+            Reply(
+                token, RequestOutcome.CURRENT, core.commit_index, None, core.replica_id
+            )
         )
         return
     leader_state.pending_reads.append(PendingRead(token, leader_state.round + 1))
@@ -101,7 +107,9 @@
     ):
         problem = Problem("membership-quorum", "too few of the voters are live")
     if problem is not None:
-        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
+        core.actions.append(
+            Reply(token, RequestOutcome.REFUSED, 0, problem, core.replica_id)
+        )
         return
     index = append_entry(core, EntryKind.CONFIGURATION, configuration=new_configuration)
     leader_state.pending_proposals[index] = token
@@ -234,7 +242,7 @@
         if pending_read.round <= quorum_round:
             reply = Reply(
                 pending_read.token,
-                Outcome.CURRENT,
+                RequestOutcome.CURRENT,
                 core.commit_index,
                 None,
                 core.replica_id,
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -17,12 +17,12 @@
     ChangeMembership,
     Event,
     MessageReceived,
-    Outcome,
     Persisted,
     PersistFailed,
     Propose,
     Read,
     Reply,
+    RequestOutcome,
     Role,
     SnapshotTaken,
     Tick,
@@ -309,5 +309,5 @@
         if isinstance(event, Propose | Read | ChangeMembership):
             problem = Problem(code, detail)
             leader = self.core.leader
-            reply = Reply(event.token, Outcome.REFUSED, 0, problem, leader)
+            reply = Reply(event.token, RequestOutcome.REFUSED, 0, problem, leader)
             self.core.actions.append(reply)
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -19,13 +19,13 @@
     Apply,
     ChangeMembership,
     MessageReceived,
-    Outcome,
     Persist,
     Persisted,
     PersistFailed,
     Propose,
     Read,
     Reply,
+    RequestOutcome,
     Role,
     Send,
     SnapshotTaken,
@@ -335,7 +335,7 @@
     driver.receive_append_reply(B)
     assert driver.replies() == []
     driver.confirm_persists()
-    assert driver.replies()[0].outcome == Outcome.COMMITTED
+    assert driver.replies()[0].outcome == RequestOutcome.COMMITTED
 
 
 def test_two_followers_commit_before_the_leader_has_persisted():
@@ -343,7 +343,7 @@
     driver.handle(Propose(b"x", "t"))
     driver.receive_append_reply(B)
     driver.receive_append_reply(C)
-    assert driver.replies()[0].outcome == Outcome.COMMITTED
+    assert driver.replies()[0].outcome == RequestOutcome.COMMITTED
 
 
 def test_earlier_term_entry_is_committed_only_with_current_term_entry():
@@ -368,7 +368,10 @@
     driver.run_ticks(2.5)
     driver.handle(Propose(b"x", "after"))
     outcomes = {reply.token: reply.outcome for reply in driver.replies()}
-    assert outcomes == {"before": Outcome.UNKNOWN, "after": Outcome.REFUSED}
+    assert outcomes == {
+        "before": RequestOutcome.UNKNOWN,
+        "after": RequestOutcome.REFUSED,
+    }
     assert driver.role() != Role.LEADER
 
 
@@ -388,7 +391,7 @@
         )
     )
     driver.confirm_persists()
-    assert driver.replies()[0].outcome == Outcome.UNKNOWN
+    assert driver.replies()[0].outcome == RequestOutcome.UNKNOWN
     apply_actions = [action for action in driver.actions if isinstance(action, Apply)]
     assert [entry.data for entry in apply_actions[-1].entries] == [b"won"]
 
@@ -396,7 +399,7 @@
 @pytest.mark.parametrize(
     ("name", "since_reply_s", "jump_s", "outcomes"),
     [
-        ("lease valid", 0.5, 0.0, [Outcome.CURRENT]),
+        ("lease valid", 0.5, 0.0, [RequestOutcome.CURRENT]),
         ("lease expired", 1.5, 0.0, []),
         ("clock jumped back", 0.1, -5.0, []),
         ("clock jumped forward", 0.1, 5.0, []),
@@ -414,7 +417,9 @@
     driver.handle(Read("r"))
     assert [reply.outcome for reply in driver.replies()] == outcomes, name
     driver.receive_append_reply(C)
-    assert [reply.outcome for reply in driver.replies()] == [Outcome.CURRENT], name
+    assert [reply.outcome for reply in driver.replies()] == [RequestOutcome.CURRENT], (
+        name
+    )
 
 
 def test_reply_to_an_earlier_round_does_not_confirm_a_read():
@@ -441,7 +446,7 @@
     driver.handle(Propose(b"x", "t"))
     problem = Problem("disk-full", "the disk is full")
     driver.handle(PersistFailed(driver.pending_persists.pop(), problem))
-    assert driver.replies()[0].outcome == Outcome.UNKNOWN
+    assert driver.replies()[0].outcome == RequestOutcome.UNKNOWN
     assert driver.role() == Role.FAILED
     driver.actions.clear()
     driver.run_ticks(9)
--- a/libs/daemons/src/kumquatmux_daemons/control/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/core.py
@@ -267,16 +267,16 @@
     @_carry_out.register
     def _(self, action: agreement.Reply, now: float) -> list[agreement.Action]:
         if action.token.startswith("confirm "):
-            if action.outcome == agreement.Outcome.CURRENT:
+            if action.outcome == agreement.RequestOutcome.CURRENT:
                 self._act_on_copy(self.copy.handle(copy_events.Confirmed(), now))
                 self._look_for_loss()
             return []
         vms = self.reshaping.pop(action.token, None)
-        if action.outcome == agreement.Outcome.REFUSED:
+        if action.outcome == agreement.RequestOutcome.REFUSED:
             self.out.append(Tell(action.token, self._refusal(action)))
-        elif action.outcome == agreement.Outcome.COMMITTED and vms is not None:
+        elif action.outcome == agreement.RequestOutcome.COMMITTED and vms is not None:
             self.out.append(Tell(action.token, Reshaped(vms)))
-        elif action.outcome == agreement.Outcome.COMMITTED:
+        elif action.outcome == agreement.RequestOutcome.COMMITTED:
             self._settle(action.token, action.log_index)
         else:
             detail = action.problem.detail if action.problem else "the outcome is open"
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -12,7 +12,7 @@
     Read,
     Reply,
 )
-from kumquatmux_agreement.events import Outcome as ReplicaOutcome
+from kumquatmux_agreement.events import RequestOutcome as ReplicaOutcome
 from kumquatmux_agreement.messages import Message as ReplicaMessage
 from kumquatmux_agreement.seats import Candidate, SeatsView, next_wanted, voters_for
 from kumquatmux_core.decisions import log as log_decision
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings_operators.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings_operators.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from kumquatmux_agreement.events import Outcome, Propose, Read, Reply
+from kumquatmux_agreement.events import Propose, Read, Reply, RequestOutcome
 from kumquatmux_core.identity import VmId
 from kumquatmux_lab.faultruns.settings_cluster import Cluster
 from kumquatmux_lab.faultruns.settings_history import Answered, Asked, GivenUp, Seen
@@ -80,11 +80,11 @@
         return Change(change_id, self.revision, self.name, "", edits, undo_to)
 
     def _told(self, vm: VmId, number: int, change: Change, reply: Reply) -> None:
-        if reply.outcome != Outcome.REFUSED:
+        if reply.outcome != RequestOutcome.REFUSED:
             self.may_have_run = True
         outcome: ChangeOutcome | None = None
         life = self.cluster.nodes[vm].life
-        if reply.outcome == Outcome.COMMITTED and life is not None:
+        if reply.outcome == RequestOutcome.COMMITTED and life is not None:
             outcome = life.outcomes[reply.log_index]
         if self._is_lost():
             self.may_have_run = True
@@ -140,7 +140,7 @@
             return
         self._next_sending()
         self.leader = reply.leader.vm if reply.leader else None
-        if reply.outcome == Outcome.CURRENT and life is not None:
+        if reply.outcome == RequestOutcome.CURRENT and life is not None:
             self.revision = life.changes.revision
             now = self.cluster.timeline.now
             self.cluster.note(Seen(began, now, vm, self.revision))
--- a/libs/lab/tests/test_settings_cluster.py
+++ b/libs/lab/tests/test_settings_cluster.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from kumquatmux_agreement.entries import ReplicaId
-from kumquatmux_agreement.events import ChangeMembership, Outcome, Propose, Role
+from kumquatmux_agreement.events import ChangeMembership, Propose, RequestOutcome, Role
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_lab.faultruns.settings_cluster import CLUSTER, Cluster
 from kumquatmux_lab.faultruns.settings_faults import Faults
@@ -86,7 +86,7 @@
 def test_all_come_back_to_the_right_state_after_500_changes(snapshot_entries):
     site = Site(snapshot_entries=snapshot_entries)
     for number in range(500):
-        assert site.change(f"c{number}") == Outcome.COMMITTED
+        assert site.change(f"c{number}") == RequestOutcome.COMMITTED
     before = site.held(site.leader())
     for vm in VMS:
         site.cluster.nodes[vm].stop()
@@ -104,12 +104,12 @@
     site.cut_off(old)
     assert site.change("to-the-old", at=old) is None
     site.wait(5)
-    assert site.answers["to-the-old"] == Outcome.UNKNOWN
+    assert site.answers["to-the-old"] == RequestOutcome.UNKNOWN
     assert site.leader() is not old
-    assert site.change("to-the-new") == Outcome.COMMITTED
+    assert site.change("to-the-new") == RequestOutcome.COMMITTED
     for _ in range(30):
         site.wait(10)
-        assert site.change("again", at=old) == Outcome.REFUSED
+        assert site.change("again", at=old) == RequestOutcome.REFUSED
     accepted = site.held(site.leader())
     term = site.leader().life.replica.status().term
     site.cluster.network.cuts.clear()
@@ -146,7 +146,7 @@
     again.start(founds=True)
     site.wait(30)
     assert again.life.replica.status().role == Role.LEADER
-    assert site.change("to-the-new-cluster", at=again) == Outcome.REFUSED
+    assert site.change("to-the-new-cluster", at=again) == RequestOutcome.REFUSED
     assert site.held(site.cluster.nodes["vm-1"]) == accepted
     site.cluster.nodes["vm-2"].start()
     site.wait(10)
@@ -174,11 +174,11 @@
     site = Site()
     old = site.leader()
     old.disk.is_full = True
-    assert site.change("one", at=old) in (None, Outcome.UNKNOWN)
+    assert site.change("one", at=old) in (None, RequestOutcome.UNKNOWN)
     assert old.life.replica.status().role == Role.FAILED
     site.wait(6)
     assert site.leader() is not old or not old.disk.is_full
-    assert site.change("two") == Outcome.COMMITTED
+    assert site.change("two") == RequestOutcome.COMMITTED
     old.disk.is_full = False
     site.wait(6)
     assert len({site.held(site.cluster.nodes[vm]) for vm in VMS}) == 1
@@ -197,7 +197,7 @@
     site.leader().ask(ChangeMembership(wanted, "m"), lambda reply: None)
     site.wait(10)
     assert site.voters() == sorted(wanted)
-    assert site.change("two") == Outcome.COMMITTED
+    assert site.change("two") == RequestOutcome.COMMITTED
     assert site.held(site.cluster.nodes["vm-spare"])[0] >= 1
 
 
