--- a/libs/agreement/src/kumquatmux_agreement/entries.py
+++ b/libs/agreement/src/kumquatmux_agreement/entries.py
@@ -38,7 +38,7 @@
             founded under the same name at different times apart.
     """
 
-    vms: tuple[VmId, ...]
+    wanted_vms: tuple[VmId, ...]
     voters: tuple[ReplicaId, ...]
     learners: tuple[ReplicaId, ...] = ()
     origin: str = ""
@@ -56,13 +56,13 @@
         most all voters. An accepted entry thus survives the loss of any minority of the
         wanted VMs.
         """
-        required_votes = min(len(self.voters), _majority(len(self.vms)))
+        required_votes = min(len(self.voters), _majority(len(self.wanted_vms)))
         return max(_majority(len(self.voters)), required_votes)
 
     @property
     def is_ready(self) -> bool:
         """Whether there are enough voters to accept entries."""
-        return len(self.voters) >= _majority(len(self.vms))
+        return len(self.voters) >= _majority(len(self.wanted_vms))
 
 
 class EntryKind(IntEnum):
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -255,7 +255,7 @@
 ) -> Problem | None:
     if not core.log.configuration.is_ready:
         voter_count = len(core.log.configuration.voters)
-        wanted_count = len(core.log.configuration.vms)
+        wanted_count = len(core.log.configuration.wanted_vms)
         return Problem(
             "too-few-voters", f"{voter_count} of {wanted_count} control VMs are voters"
         )
--- a/libs/agreement/src/kumquatmux_agreement/membership.py
+++ b/libs/agreement/src/kumquatmux_agreement/membership.py
@@ -65,7 +65,7 @@
     replaced_vms |= {voter.vm for voter in current.voters if voter in view.live_members}
     for learner in current.learners:
         is_stale = learner.vm in replaced_vms and learner not in view.live_members
-        if learner.vm not in current.vms or is_stale:
+        if learner.vm not in current.wanted_vms or is_stale:
             return _without_member(current, learner)
     return None
 
@@ -76,7 +76,7 @@
         voter.vm for voter in current.voters if voter in view.live_members
     }
     for replica in view.join_requests:
-        if replica.vm in current.vms and replica.vm not in represented_vms:
+        if replica.vm in current.wanted_vms and replica.vm not in represented_vms:
             return current._replace(learners=(*current.learners, replica))
     return None
 
@@ -111,9 +111,11 @@
 def _remove_surplus_voter(
     current: Configuration, view: MembershipView
 ) -> Configuration | None:
-    if len(current.voters) <= len(current.vms):
+    if len(current.voters) <= len(current.wanted_vms):
         return None
-    surplus_voters = [voter for voter in current.voters if voter.vm not in current.vms]
+    surplus_voters = [
+        voter for voter in current.voters if voter.vm not in current.wanted_vms
+    ]
     surplus_voters.sort(
         key=lambda voter: (voter == view.leader, voter in view.live_members)
     )
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -92,7 +92,7 @@
         voting_vms = sorted(voter.vm for voter in configuration.voters)
         is_configuration_committed = core.commit_index >= core.log.configuration_index
         is_whole = is_configuration_committed and voting_vms == sorted(
-            configuration.vms
+            configuration.wanted_vms
         )
         live_members: tuple[ReplicaId, ...] = ()
         has_lease = False
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -320,7 +320,7 @@
             return
         if self.leads_since is None:
             self.leads_since = now
-        wanted = self.agreed.replica.core.log.configuration.vms
+        wanted = self.agreed.replica.core.log.configuration.wanted_vms
         following = next_wanted(self._seats_view(wanted, now))
         if following is None:
             return
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings_faults.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings_faults.py
@@ -198,7 +198,7 @@
             return False
         if self.spare == "" or not self.cluster.is_whole():
             return False
-        vms = leader.life.replica.status().configuration.vms
+        vms = leader.life.replica.status().configuration.wanted_vms
         self.leaving = self.random.choice(vms)
         wanted = tuple(vm for vm in vms if vm != self.leaving) + (self.spare,)
         self._start(self.cluster.nodes[self.spare])
@@ -214,7 +214,7 @@
         if leader is None or leader.life is None:
             return
         self.lost.clear()
-        vms = leader.life.replica.status().configuration.vms
+        vms = leader.life.replica.status().configuration.wanted_vms
         outside = [vm for vm in self.cluster.nodes if vm not in vms]
         if self.spare == "" and outside:
             self.spare = outside[0]
--- a/libs/lab/tests/test_registrar_faults.py
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -121,7 +121,7 @@
     world.run_until(world.now + 4.0)
     status = world.nodes[leader_of(world)].core.agreed.replica.status()
     assert status.is_whole
-    assert "c-new" in status.configuration.vms
+    assert "c-new" in status.configuration.wanted_vms
 
 
 def test_documents_and_servers_are_back_soon_after_all_lost_power(world):
