--- a/libs/agreement/src/kumquatmux_agreement/entries.py
+++ b/libs/agreement/src/kumquatmux_agreement/entries.py
@@ -60,7 +60,7 @@
         return max(_majority(len(self.voters)), required_votes)
 
     @property
-    def is_ready(self) -> bool:
+    def has_enough_voters(self) -> bool:
         """Whether there are enough voters to accept entries."""
         return len(self.voters) >= _majority(len(self.wanted_vms))
 
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -253,7 +253,7 @@
 def _proposal_problem(
     core: ReplicaCore, leader_state: LeaderState, data: bytes
 ) -> Problem | None:
-    if not core.log.configuration.is_ready:
+    if not core.log.configuration.has_enough_voters:
         voter_count = len(core.log.configuration.voters)
         wanted_count = len(core.log.configuration.wanted_vms)
         return Problem(
--- a/libs/agreement/tests/test_membership.py
+++ b/libs/agreement/tests/test_membership.py
@@ -132,4 +132,4 @@
 ):
     configuration = Configuration(vms, voters)
     assert configuration.quorum == quorum
-    assert configuration.is_ready == has_enough_voters
+    assert configuration.has_enough_voters == has_enough_voters
--- a/libs/daemons/src/kumquatmux_daemons/control/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/core.py
@@ -149,7 +149,7 @@
 
     def can_accept(self, now: float) -> bool:
         """Return whether the log is known to take changes at this time."""
-        is_ready = self.replica.status().configuration.is_ready
+        is_ready = self.replica.status().configuration.has_enough_voters
         is_fresh = self.copy.staleness(now) < CONFIRMED_S
         return is_ready and is_fresh and not self.failure and not self._is_behind()
 
