Rename commit to commit_index

The field is a log index.

Rename: libs/agreement/src/kumquatmux_agreement/status.py commit commit_index

--- a/libs/agreement/src/kumquatmux_agreement/status.py
+++ b/libs/agreement/src/kumquatmux_agreement/status.py
@@ -30,7 +30,7 @@
     role: Role
     term: int
     leader: ReplicaId | None
-    commit: int
+    commit_index: int
     last_index: int
     snapshot_index: int
     configuration: Configuration
--- a/libs/lab/tests/test_settings_cluster.py
+++ b/libs/lab/tests/test_settings_cluster.py
@@ -167,7 +167,7 @@
             break
         site.wait(0.01)
     assert lost.life.replica.status().role == Role.FOLLOWER
-    assert lost.life.replica.status().last_index >= status.commit
+    assert lost.life.replica.status().last_index >= status.commit_index
 
 
 def test_a_leader_whose_disk_is_full_steps_down_and_acknowledges_nothing():
