--- a/libs/agreement/src/kumquatmux_agreement/status.py
+++ b/libs/agreement/src/kumquatmux_agreement/status.py
@@ -34,7 +34,7 @@
     last_index: int
     snapshot_index: int
     configuration: Configuration
-    live: tuple[ReplicaId, ...]
+    live_members: tuple[ReplicaId, ...]
     has_lease: bool
     is_whole: bool
 
@@ -42,9 +42,11 @@
     def voting_vms(self) -> frozenset[VmId]:
         """VMs whose voters replied recently, if this replica is the leader."""
         voters = self.configuration.voters
-        return frozenset(replica.vm for replica in self.live if replica in voters)
+        return frozenset(
+            replica.vm for replica in self.live_members if replica in voters
+        )
 
     @property
     def joining_vms(self) -> frozenset[VmId]:
         """VMs with a recent reply but without a vote, if this replica is the leader."""
-        return frozenset(replica.vm for replica in self.live) - self.voting_vms
+        return frozenset(replica.vm for replica in self.live_members) - self.voting_vms
