--- a/libs/agreement/src/kumquatmux_agreement/status.py
+++ b/libs/agreement/src/kumquatmux_agreement/status.py
@@ -36,7 +36,7 @@
     configuration: Configuration
     live_members: tuple[ReplicaId, ...]
     has_lease: bool
-    is_whole: bool
+    is_fully_replicated: bool
 
     @property
     def voting_vms(self) -> frozenset[VmId]:
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -554,18 +554,18 @@
         driver.run_ticks(0.1)
     status = driver.replica.status()
     assert (status.voting_vms, status.joining_vms) == ({"a", "b"}, {"c"})
-    assert not status.is_whole
+    assert not status.is_fully_replicated
 
 
 def test_status_is_whole_only_once_the_configuration_is_committed():
     driver = make_leader()
-    assert driver.replica.status().is_whole
+    assert driver.replica.status().is_fully_replicated
     driver.handle(ChangeMembership(VMS, "t"))
     driver.confirm_persists()
-    assert not driver.replica.status().is_whole
+    assert not driver.replica.status().is_fully_replicated
     driver.receive_append_reply(B)
     driver.receive_append_reply(C)
-    assert driver.replica.status().is_whole
+    assert driver.replica.status().is_fully_replicated
 
 
 def test_leader_ignores_its_own_earlier_join_request():
--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar.py
@@ -381,7 +381,7 @@
             assert control.core is not None
             if control.core.agreed.is_leader:
                 status = control.core.agreed.replica.status()
-                return control if status.is_whole else None
+                return control if status.is_fully_replicated else None
         return None
 
     def _any_vm(self) -> VmId:
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
@@ -271,7 +271,11 @@
             node.life is not None and node.life.store.identity.folder == voter.folder
             for node, voter in zip(nodes, voters, strict=True)
         )
-        return status.is_whole and are_up and len(status.live_members) == len(voters)
+        return (
+            status.is_fully_replicated
+            and are_up
+            and len(status.live_members) == len(voters)
+        )
 
 
 def _no_problems(values: Any, previous: Any) -> list[Any]:
