--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -7,7 +7,7 @@
 from kumquatmux_core.identity import VmId, ZoneName
 
 
-class Candidate(NamedTuple):
+class VoterCandidate(NamedTuple):
     """Control VM that can become a voter.
 
     Attributes:
@@ -32,7 +32,7 @@
 
     leader: VmId
     voter_vms: tuple[VmId, ...]
-    reachable: tuple[Candidate, ...]
+    reachable: tuple[VoterCandidate, ...]
     unreachable: frozenset[VmId]
     voter_count: int
 
@@ -63,7 +63,7 @@
 
 
 def _add_voter_vms(
-    view: SeatsView, spare_candidates: list[Candidate]
+    view: SeatsView, spare_candidates: list[VoterCandidate]
 ) -> tuple[VmId, ...] | None:
     missing_count = view.voter_count - len(view.voter_vms)
     if len(spare_candidates) < missing_count:
@@ -79,7 +79,7 @@
 
 
 def _select_candidate_vm(
-    view: SeatsView, spare_candidates: list[Candidate], voter_vms: set[VmId]
+    view: SeatsView, spare_candidates: list[VoterCandidate], voter_vms: set[VmId]
 ) -> VmId:
     """Return the VM of the candidate whose zone has the fewest selected VMs."""
     zones = {candidate.vm: candidate.zone for candidate in view.reachable}
--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -1,12 +1,17 @@
 from __future__ import annotations
 
-from kumquatmux_agreement.seats import Candidate, SeatsView, next_wanted, voters_for
+from kumquatmux_agreement.seats import (
+    SeatsView,
+    VoterCandidate,
+    next_wanted,
+    voters_for,
+)
 
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
 
 def selection_view(voter_vms, reachable, unreachable=(), voter_count=3):
-    candidates = tuple(Candidate(vm, ZONES[vm]) for vm in reachable)
+    candidates = tuple(VoterCandidate(vm, ZONES[vm]) for vm in reachable)
     return SeatsView(
         "a1", tuple(voter_vms), candidates, frozenset(unreachable), voter_count
     )
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -14,7 +14,12 @@
 )
 from kumquatmux_agreement.events import RequestOutcome as ReplicaOutcome
 from kumquatmux_agreement.messages import Message as ReplicaMessage
-from kumquatmux_agreement.seats import Candidate, SeatsView, next_wanted, voters_for
+from kumquatmux_agreement.seats import (
+    SeatsView,
+    VoterCandidate,
+    next_wanted,
+    voters_for,
+)
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import Endpoint, VmId, ZoneName
 from kumquatmux_core.problems import Problem
@@ -329,9 +334,9 @@
 
     def _seats_view(self, wanted: tuple[VmId, ...], now: float) -> SeatsView:
         limit = now - self.follower.settings.silent_s
-        mine = Candidate(self.settings.vm, self.settings.zone)
+        mine = VoterCandidate(self.settings.vm, self.settings.zone)
         others = [
-            Candidate(vm, source.zone)
+            VoterCandidate(vm, source.zone)
             for vm, source in self.follower.sources.items()
             if source.heard_at > limit
         ]
