--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -19,7 +19,7 @@
     zone: ZoneName
 
 
-class SeatsView(NamedTuple):
+class VoterSelectionView(NamedTuple):
     """What the leader knows about the control VMs.
 
     Attributes:
@@ -42,7 +42,7 @@
     return 2 * tolerated_losses + 1
 
 
-def next_wanted(view: SeatsView) -> tuple[VmId, ...] | None:
+def next_wanted(view: VoterSelectionView) -> tuple[VmId, ...] | None:
     """Return the VMs to select as voters next, or None to keep the selection.
 
     A VM is replaced only if it is unreachable and a reachable VM can take its place,
@@ -63,7 +63,7 @@
 
 
 def _add_voter_vms(
-    view: SeatsView, spare_candidates: list[VoterCandidate]
+    view: VoterSelectionView, spare_candidates: list[VoterCandidate]
 ) -> tuple[VmId, ...] | None:
     missing_count = view.voter_count - len(view.voter_vms)
     if len(spare_candidates) < missing_count:
@@ -79,7 +79,9 @@
 
 
 def _select_candidate_vm(
-    view: SeatsView, spare_candidates: list[VoterCandidate], voter_vms: set[VmId]
+    view: VoterSelectionView,
+    spare_candidates: list[VoterCandidate],
+    voter_vms: set[VmId],
 ) -> VmId:
     """Return the VM of the candidate whose zone has the fewest selected VMs."""
     zones = {candidate.vm: candidate.zone for candidate in view.reachable}
--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -1,8 +1,8 @@
 from __future__ import annotations
 
 from kumquatmux_agreement.seats import (
-    SeatsView,
     VoterCandidate,
+    VoterSelectionView,
     next_wanted,
     voters_for,
 )
@@ -12,7 +12,7 @@
 
 def selection_view(voter_vms, reachable, unreachable=(), voter_count=3):
     candidates = tuple(VoterCandidate(vm, ZONES[vm]) for vm in reachable)
-    return SeatsView(
+    return VoterSelectionView(
         "a1", tuple(voter_vms), candidates, frozenset(unreachable), voter_count
     )
 
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -15,8 +15,8 @@
 from kumquatmux_agreement.events import RequestOutcome as ReplicaOutcome
 from kumquatmux_agreement.messages import Message as ReplicaMessage
 from kumquatmux_agreement.seats import (
-    SeatsView,
     VoterCandidate,
+    VoterSelectionView,
     next_wanted,
     voters_for,
 )
@@ -332,7 +332,7 @@
         log_decision("seats-moved", wanted=",".join(following), former=",".join(wanted))
         self.agreed.give(ChangeMembership(following, f"seats-{now}"), now)
 
-    def _seats_view(self, wanted: tuple[VmId, ...], now: float) -> SeatsView:
+    def _seats_view(self, wanted: tuple[VmId, ...], now: float) -> VoterSelectionView:
         limit = now - self.follower.settings.silent_s
         mine = VoterCandidate(self.settings.vm, self.settings.zone)
         others = [
@@ -353,7 +353,7 @@
             < now - GONE_S
         )
         size = voters_for(self.settings.losses)
-        return SeatsView(self.settings.vm, wanted, (mine, *others), gone, size)
+        return VoterSelectionView(self.settings.vm, wanted, (mine, *others), gone, size)
 
     def _is_due(self, name: str, period_s: float, now: float) -> bool:
         if now < self.due.get(name, 0.0):
