--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -42,7 +42,7 @@
     return 2 * tolerated_losses + 1
 
 
-def next_wanted(view: VoterSelectionView) -> tuple[VmId, ...] | None:
+def next_voter_vms(view: VoterSelectionView) -> tuple[VmId, ...] | None:
     """Return the VMs to select as voters next, or None to keep the selection.
 
     A VM is replaced only if it is unreachable and a reachable VM can take its place,
--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -3,7 +3,7 @@
 from kumquatmux_agreement.seats import (
     VoterCandidate,
     VoterSelectionView,
-    next_wanted,
+    next_voter_vms,
     voters_for,
 )
 
@@ -23,14 +23,14 @@
 
 def test_selection_is_kept_while_all_voter_vms_are_reachable():
     assert (
-        next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "b1", "c1", "c2"]))
+        next_voter_vms(selection_view(["a1", "b1", "c1"], ["a1", "b1", "c1", "c2"]))
         is None
     )
 
 
 def test_unreachable_vm_is_kept_without_a_replacement():
     assert (
-        next_wanted(
+        next_voter_vms(
             selection_view(["a1", "b1", "c1"], ["a1", "b1"], unreachable=["c1"])
         )
         is None
@@ -39,19 +39,19 @@
 
 def test_reachable_vm_replaces_an_unreachable_one():
     view = selection_view(["a1", "b1", "c1"], ["a1", "b1", "c2"], unreachable=["c1"])
-    assert next_wanted(view) == ("a1", "b1", "c2")
+    assert next_voter_vms(view) == ("a1", "b1", "c2")
 
 
 def test_zone_with_fewest_voter_vms_is_preferred():
     view = selection_view(
         ["a1", "b1", "c1"], ["a1", "a2", "b1", "c2"], unreachable=["c1"]
     )
-    assert next_wanted(view) == ("a1", "b1", "c2")
+    assert next_voter_vms(view) == ("a1", "b1", "c2")
 
 
 def test_selection_grows_to_the_voter_count_in_one_step():
     reachable = ["a1", "a2", "b1", "b2", "c1", "c2"]
-    voter_vms = next_wanted(
+    voter_vms = next_voter_vms(
         selection_view(["a1", "b1", "c1"], reachable, voter_count=5)
     )
     assert voter_vms == ("a1", "a2", "b1", "b2", "c1")
@@ -59,6 +59,6 @@
 
 def test_selection_does_not_grow_with_too_few_reachable_vms():
     assert (
-        next_wanted(selection_view(["a1", "b1", "c1"], ["a1", "a2"], voter_count=5))
+        next_voter_vms(selection_view(["a1", "b1", "c1"], ["a1", "a2"], voter_count=5))
         is None
     )
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -17,7 +17,7 @@
 from kumquatmux_agreement.seats import (
     VoterCandidate,
     VoterSelectionView,
-    next_wanted,
+    next_voter_vms,
     voters_for,
 )
 from kumquatmux_core.decisions import log as log_decision
@@ -326,7 +326,7 @@
         if self.leads_since is None:
             self.leads_since = now
         wanted = self.agreed.replica.core.log.configuration.wanted_vms
-        following = next_wanted(self._seats_view(wanted, now))
+        following = next_voter_vms(self._seats_view(wanted, now))
         if following is None:
             return
         log_decision("seats-moved", wanted=",".join(following), former=",".join(wanted))
