--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/seats.py
@@ -37,7 +37,7 @@
     voter_count: int
 
 
-def voters_for(tolerated_losses: int) -> int:
+def required_voter_count(tolerated_losses: int) -> int:
     """Return the number of voters needed to survive a number of lost voters."""
     return 2 * tolerated_losses + 1
 
--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -4,7 +4,7 @@
     VoterCandidate,
     VoterSelectionView,
     next_voter_vms,
-    voters_for,
+    required_voter_count,
 )
 
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
@@ -18,7 +18,9 @@
 
 
 def test_voter_count_survives_the_tolerated_losses():
-    assert [voters_for(tolerated_losses) for tolerated_losses in (0, 1, 2)] == [1, 3, 5]
+    assert [
+        required_voter_count(tolerated_losses) for tolerated_losses in (0, 1, 2)
+    ] == [1, 3, 5]
 
 
 def test_selection_is_kept_while_all_voter_vms_are_reachable():
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -18,7 +18,7 @@
     VoterCandidate,
     VoterSelectionView,
     next_voter_vms,
-    voters_for,
+    required_voter_count,
 )
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import Endpoint, VmId, ZoneName
@@ -317,7 +317,7 @@
 
     def _is_seated(self) -> bool:
         configuration = self.agreed.replica.core.log.configuration
-        return len(configuration.voters) >= voters_for(self.settings.losses)
+        return len(configuration.voters) >= required_voter_count(self.settings.losses)
 
     def _look_at_seats(self, now: float) -> None:
         if not self.agreed.is_leader:
@@ -352,7 +352,7 @@
             )
             < now - GONE_S
         )
-        size = voters_for(self.settings.losses)
+        size = required_voter_count(self.settings.losses)
         return VoterSelectionView(self.settings.vm, wanted, (mine, *others), gone, size)
 
     def _is_due(self, name: str, period_s: float, now: float) -> bool:
