--- a/libs/agreement/tests/test_seats.py
+++ b/libs/agreement/tests/test_seats.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from kumquatmux_agreement.seats import (
+from kumquatmux_agreement.voter_selection import (
     VoterCandidate,
     VoterSelectionView,
     next_voter_vms,
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -14,7 +14,7 @@
 )
 from kumquatmux_agreement.events import RequestOutcome as ReplicaOutcome
 from kumquatmux_agreement.messages import Message as ReplicaMessage
-from kumquatmux_agreement.seats import (
+from kumquatmux_agreement.voter_selection import (
     VoterCandidate,
     VoterSelectionView,
     next_voter_vms,
