--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -93,10 +93,12 @@
     The members are then changed one at a time by ``tick``.
     """
     current_configuration = core.log.configuration
-    new_configuration = current_configuration._replace(vms=tuple(sorted(set(vms))))
+    new_configuration = current_configuration._replace(
+        wanted_vms=tuple(sorted(set(vms)))
+    )
     problem = None
-    if len(new_configuration.vms) not in ALLOWED_VM_COUNTS or len(vms) != len(
-        new_configuration.vms
+    if len(new_configuration.wanted_vms) not in ALLOWED_VM_COUNTS or len(vms) != len(
+        new_configuration.wanted_vms
     ):
         detail = f"{len(vms)} control VMs requested; 1, 3 or 5 distinct ones required"
         problem = Problem("membership-size", detail)
--- a/libs/agreement/tests/test_elections.py
+++ b/libs/agreement/tests/test_elections.py
@@ -45,7 +45,7 @@
         REPLICA_IDS[replica_number],
         VMS,
         heartbeat_s=0.12,
-        lease_share=0.0,
+        lease_fraction=0.0,
         start_timeout_s=START_TIMEOUT_S,
         election_timeout_s=ELECTION_TIMEOUT_S,
     )
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -557,7 +557,7 @@
     assert not status.is_fully_replicated
 
 
-def test_status_is_whole_only_once_the_configuration_is_committed():
+def test_status_is_fully_replicated_only_once_the_configuration_is_committed():
     driver = make_leader()
     assert driver.replica.status().is_fully_replicated
     driver.handle(ChangeMembership(VMS, "t"))
@@ -580,7 +580,7 @@
     durable_state = make_durable_state()._replace(
         snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
     )
-    driver = make_leader(durable_state=durable_state, chunk_bytes=2, keep_entries=0)
+    driver = make_leader(durable_state=durable_state, chunk_bytes=2, retained_entries=0)
     driver.receive_append_reply(C, log_index=1, is_matched=False)
     driver.handle(Propose(b"x", "t"))
     driver.confirm_persists()
@@ -663,7 +663,7 @@
 
 
 def test_replica_without_leases_starts_its_pre_vote_early():
-    driver = ReplicaDriver(lease_share=0.0, start_timeout_s=0.15)
+    driver = ReplicaDriver(lease_fraction=0.0, start_timeout_s=0.15)
     driver.handle(Tick())
     assert driver.role() == Role.FOLLOWER
     driver.handle(Tick(), delay_s=0.31)
@@ -679,7 +679,12 @@
     retry_delays = set()
     for seed in range(20):
         settings = ReplicaSettings(
-            "lab", A, VMS, lease_share=0.0, start_timeout_s=0.08, election_timeout_s=0.6
+            "lab",
+            A,
+            VMS,
+            lease_fraction=0.0,
+            start_timeout_s=0.08,
+            election_timeout_s=0.6,
         )
         replica = Replica(settings, make_durable_state(), Random(seed))
         replica.handle(Tick(), 100.0)
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -187,5 +187,5 @@
             return
         self.store = opened.ok
         replica = ReplicaId(identity.vm, self.store.identity.folder)
-        self.settings = self.settings._replace(replica=replica)
+        self.settings = self.settings._replace(replica_id=replica)
         self.replica = self._new_replica()
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
@@ -94,7 +94,7 @@
             return
         store = opened.ok
         me = ReplicaId(self.vm, store.identity.folder)
-        settings = cluster.settings._replace(replica=me)
+        settings = cluster.settings._replace(replica_id=me)
         replica = Replica(settings, store.restored, cluster.random)
         changes = ChangeLog(cluster.changelog, _no_problems)
         if store.restored.snapshot.data:
--- a/libs/lab/tests/test_registrar_faults.py
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -110,7 +110,7 @@
     world.start(leader)
     world.run_until(world.now + 4.0)
     status = world.nodes[leader_of(world)].core.agreed.replica.status()
-    assert status.is_whole
+    assert status.is_fully_replicated
 
 
 def test_a_vm_at_another_address_takes_the_seat_of_one_that_is_gone(world):
@@ -120,7 +120,7 @@
     world.add(Control(VmId("c-new"), ZoneName(victim[-1])))
     world.run_until(world.now + 4.0)
     status = world.nodes[leader_of(world)].core.agreed.replica.status()
-    assert status.is_whole
+    assert status.is_fully_replicated
     assert "c-new" in status.configuration.wanted_vms
 
 
--- a/libs/lab/tests/test_settings_cluster.py
+++ b/libs/lab/tests/test_settings_cluster.py
@@ -163,7 +163,7 @@
     site.lose(lost)
     while True:
         status = site.leader().life.replica.status()
-        if status.is_whole and site.cluster.is_whole():
+        if status.is_fully_replicated and site.cluster.is_whole():
             break
         site.wait(0.01)
     assert lost.life.replica.status().role == Role.FOLLOWER
