--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -66,7 +66,7 @@
     """Replica state that does not depend on the role.
 
     The steady clock counts seconds since the start. It never goes back and advances by
-    at most ``clock_gap_s`` between two events.
+    at most ``max_event_gap_s`` between two events.
 
     Attributes:
         settings: Identity, timing and limits of the replica.
@@ -74,16 +74,17 @@
         vote_record: Current term and vote.
         log: Log in memory.
         persisted_index: Last entry known to be durable on this replica's disk.
-        commit: Last entry known to be committed.
+        commit_index: Last entry known to be committed.
         role: Current role.
         leader: Leader that the replica follows, or None if unknown.
-        leadership: Leader state, or None if the replica is not the leader.
+        leader_state: Leader state, or None if the replica is not the leader.
         election: Election in which the replica is the candidate, or None.
         incoming_snapshot: Snapshot that is being received, or None.
         failure: Problem that made the replica fail, or None.
         now: Time of the latest event on the caller's clock, in seconds.
-        clock: Current time on the steady clock.
-        heard_at: Time of the last message from a leader, on the steady clock.
+        steady_now: Current time on the steady clock.
+        last_leader_contact_at: Time of the last message from a leader, on the steady
+            clock.
         election_deadline: Time at which the next pre-vote starts, on the steady clock.
         election_retry_at: Earliest time of a new pre-vote after an election is started,
             on the steady clock.
--- a/libs/agreement/src/kumquatmux_agreement/entries.py
+++ b/libs/agreement/src/kumquatmux_agreement/entries.py
@@ -31,7 +31,7 @@
     """Members of the replicated log.
 
     Attributes:
-        vms: Control VMs that should have a voter: 1, 3 or 5.
+        wanted_vms: Control VMs that should have a voter: 1, 3 or 5.
         voters: Replicas that vote and whose persisted entries count for a quorum.
         learners: Replicas that receive the log but do not count for a quorum yet.
         origin: Folder of the cluster's founding replica. It tells clusters that were
--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -70,8 +70,8 @@
         round_sent_at: Start of the latest rounds on the caller's clock, in seconds.
         next_heartbeat_at: Time of the next heartbeat on the steady clock, in seconds.
         leading_since: Time at which leadership began on the steady clock, in seconds.
-        first_index: First entry of the leader's own term. Until it is committed, the
-            leader cannot know which earlier entries are committed.
+        term_start_index: First entry of the leader's own term. Until it is committed,
+            the leader cannot know which earlier entries are committed.
     """
 
     def __init__(
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -51,8 +51,8 @@
     """Replica of the log.
 
     The caller performs the actions in order and reports the result of each
-    ``Persist``. Events must arrive at least every ``clock_gap_s`` seconds, ``Tick`` if
-    there is no other.
+    ``Persist``. Events must arrive at least every ``max_event_gap_s`` seconds, ``Tick``
+    if there is no other.
     """
 
     def __init__(
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -14,7 +14,7 @@
     Attributes:
         cluster: Name of the cluster. Messages of other clusters are dropped, including
             those of a cluster that was founded again under the same name.
-        replica: Identity of this replica.
+        replica_id: Identity of this replica.
         peers: VMs that get join requests while no leader is known.
         heartbeat_s: Interval between a leader's heartbeats, in seconds.
         election_timeout_s: Minimum time without a leader before an election, in
@@ -22,14 +22,16 @@
             time of a message from a leader, except in a leadership transfer.
         start_timeout_s: Minimum time after startup before a replica starts an election
             or votes, in seconds. It may be less than the election timeout only if
-            leaders have no read lease, that is, with a ``lease_share`` of 0.
-        lease_share: Fraction of the election timeout for which a leader answers reads
-            without contacting a quorum. The rest is a margin for clock drift.
-        clock_gap_s: Maximum time between two events, in seconds. A longer one is
+            leaders have no read lease, that is, with a ``lease_fraction`` of 0.
+        lease_fraction: Fraction of the election timeout for which a leader answers
+            reads without contacting a quorum. The rest is a margin for clock drift.
+        max_event_gap_s: Maximum time between two events, in seconds. A longer one is
             treated as a clock jump or a paused process.
         join_period_s: Interval between join requests, in seconds.
-        snapshot_entries: Number of committed entries between two log compactions.
-        keep_entries: Number of entries retained before a snapshot for slow followers.
+        snapshot_interval_entries: Number of committed entries between two log
+            compactions.
+        retained_entries: Number of entries retained before a snapshot for slow
+            followers.
         batch_bytes: Approximate maximum size of one message's entries, in bytes.
         window_entries: Maximum number of entries sent ahead of a member's
             acknowledgement.
--- a/libs/agreement/src/kumquatmux_agreement/status.py
+++ b/libs/agreement/src/kumquatmux_agreement/status.py
@@ -16,15 +16,15 @@
         role: Current role.
         term: Current term.
         leader: Leader, or None if unknown.
-        commit: Last entry known to be committed.
+        commit_index: Last entry known to be committed.
         last_index: Last entry of the log.
         snapshot_index: Last entry included in the snapshot.
         configuration: Latest configuration in the log.
-        live: Members that replied recently, if this replica is the leader.
+        live_members: Members that replied recently, if this replica is the leader.
         has_lease: Whether the replica may answer reads without contacting a quorum.
-        is_whole: Whether every wanted VM has a voter in a committed configuration and,
-            if this replica is the leader, whether all members hold every committed
-            entry. Only then is it safe to lose another disk.
+        is_fully_replicated: Whether every wanted VM has a voter in a committed
+            configuration and, if this replica is the leader, whether all members hold
+            every committed entry. Only then is it safe to lose another disk.
     """
 
     role: Role
