--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -21,8 +21,8 @@
     Decision,
     Drop,
     Forward,
-    Head,
     Hold,
+    PacketHeader,
     Reset,
     Wait,
 )
@@ -141,24 +141,28 @@
         self.follower.is_stopping = True
         return [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
 
-    def _route(self, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _route(self, head: PacketHeader, data: bytes, now: float) -> list[Effect]:
         decision = self.router.handle(head, now)
         return self._carry_out(decision, head, data, now)
 
     @singledispatchmethod
     def _carry_out(
-        self, decision: Decision, head: Head, data: bytes, now: float
+        self, decision: Decision, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
         raise TypeError(f"unknown decision {type(decision).__name__}")
 
     @_carry_out.register
-    def _(self, decision: Forward, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: Forward, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts["packets.forwarded"] += 1
         packet = self.format.to_server(data, decision.server, decision.token)
         return [Datagram(packet, decision.server.report.endpoint)]
 
     @_carry_out.register
-    def _(self, decision: Reset, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: Reset, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts[f"resets.{decision.reason}"] += 1
         log_decision(
             "flow-reset",
@@ -173,7 +177,9 @@
         return [Datagram(reset, target)]
 
     @_carry_out.register
-    def _(self, decision: Drop, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: Drop, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts[f"drops.{decision.reason}"] += 1
         log_decision(
             "packet-dropped",
@@ -185,7 +191,9 @@
         return []
 
     @_carry_out.register
-    def _(self, decision: Wait, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: Wait, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         is_new = head.flow not in self.router.waiting.by_flow
         if not self.router.waiting.put(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
@@ -201,7 +209,9 @@
         return []
 
     @_carry_out.register
-    def _(self, decision: Ask, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: Ask, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts["openings.asked"] += 1
         if not self.router.waiting.put(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
@@ -209,7 +219,9 @@
         return [Sent(decision.vm, decision.question)]
 
     @_carry_out.register
-    def _(self, decision: Hold, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: Hold, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts["packets.held"] += 1
         if not self.router.held.put(head, data, now):
             return []
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/formats.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/formats.py
@@ -8,14 +8,14 @@
 
 from kumquatmux_core.problems import Problem
 from kumquatmux_registry.records import ServerRecord
-from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.routes import RouteSet
 
 
 class EntryFormat(Protocol):
     """Reads and writes what passes an entry VM."""
 
-    def read_head(self, packet: bytes) -> Head | None:
+    def read_head(self, packet: bytes) -> PacketHeader | None:
         """Return the head of a caller's packet, None if it is no sound packet."""
 
     def to_server(self, packet: bytes, server: ServerRecord, token: int) -> bytes:
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -12,7 +12,7 @@
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.routes import Route, RouteSet, Share
 
 ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
@@ -33,7 +33,7 @@
         flow = int(caller).to_bytes(6) + ROUTE
         acknowledged = 900 if kind == b"answered" else 500
         length = 9 if kind == b"data" else 0
-        return Head(
+        return PacketHeader(
             flow,
             ROUTE,
             int(token or 0),
--- a/libs/daemons/tests/test_token_entry_zone.py
+++ b/libs/daemons/tests/test_token_entry_zone.py
@@ -14,7 +14,7 @@
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.routes import Route, RouteSet, Share
 
 ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
@@ -33,7 +33,7 @@
     def read_head(self, packet):
         kind, caller, token, sequence, acknowledged, length = packet.split()
         flow = int(caller).to_bytes(6) + ROUTE
-        return Head(
+        return PacketHeader(
             flow,
             ROUTE,
             int(token),
--- a/libs/lab/src/kumquatmux_lab/benches/tokens.py
+++ b/libs/lab/src/kumquatmux_lab/benches/tokens.py
@@ -15,7 +15,7 @@
 from kumquatmux_core.identity import Address, Endpoint, ServiceName, VmId, ZoneName
 from kumquatmux_registry.feed import MESSAGE_TYPES, FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.packets import Forward, Head
+from kumquatmux_tokens.packets import Forward, PacketHeader
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, Share
 from kumquatmux_tokens.settings import TokenSettings
@@ -112,14 +112,14 @@
     )
 
 
-def _data(number: int, tokens: list[int], sequence: int, length: int) -> Head:
+def _data(number: int, tokens: list[int], sequence: int, length: int) -> PacketHeader:
     token = tokens[number % len(tokens)]
     flow = flow_name(number)
-    return Head(flow, ROUTE, token, False, False, 0, sequence, 500, length)
+    return PacketHeader(flow, ROUTE, token, False, False, 0, sequence, 500, length)
 
 
-def _opening(number: int) -> Head:
-    return Head(flow_name(number), ROUTE, 0, True, False, 0, 100, 0, 0)
+def _opening(number: int) -> PacketHeader:
+    return PacketHeader(flow_name(number), ROUTE, 0, True, False, 0, 100, 0, 0)
 
 
 def _answer(records: tuple[ServerRecord, ...]) -> bytes:
--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
@@ -30,7 +30,7 @@
 from kumquatmux_storage.memory import MemoryDisk
 from kumquatmux_storage.store import Identity, open_or_create
 from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
-from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.routes import Route, RouteSet, Share
 
 MESSAGES = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES, TOKEN_MESSAGES)
@@ -57,7 +57,7 @@
         number = int(content.partition(b" ")[0])
         return Ok(RouteSet(number, (route,), frozenset({service}), 15.0))
 
-    def read_head(self, packet: bytes) -> Head | None:
+    def read_head(self, packet: bytes) -> PacketHeader | None:
         """Return None: no packets come in these runs."""
         return None
 
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -12,7 +12,7 @@
 
 from kumquatmux_core.identity import ZoneName
 from kumquatmux_core.latencies import Latencies
-from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import PeerLoad, ServerLoad
 
@@ -133,7 +133,7 @@
             > self.settings.follow_up_share_threshold
         )
 
-    def record_syn(self, header: Head, token: int, now: float) -> Flow:
+    def record_syn(self, header: PacketHeader, token: int, now: float) -> Flow:
         """Record that a flow's SYN packet goes to a server; return the flow."""
         flow = self.flows.get(header.flow)
         if flow is None or flow.is_established:
@@ -168,7 +168,7 @@
         load.avoided_until = now + min(backoff_s, self.settings.server_avoidance_max_s)
         return True
 
-    def record_packet(self, header: Head, token: int, now: float) -> None:
+    def record_packet(self, header: PacketHeader, token: int, now: float) -> None:
         """Update the load from a packet that is not a SYN."""
         flow = self.flows.get(header.flow)
         if flow is None:
@@ -280,7 +280,9 @@
             if load.open_flows or load.avoided_until > now
         ]
 
-    def _establish(self, flow: Flow, token: int, header: Head, now: float) -> None:
+    def _establish(
+        self, flow: Flow, token: int, header: PacketHeader, now: float
+    ) -> None:
         """Mark a flow as open at the server that the caller continues with.
 
         This is not always the server that the latest SYN packet was sent to.
@@ -307,7 +309,7 @@
         load.avoided_until = -math.inf
         load.last_answer_at = now
 
-    def _update_follow_up_share(self, flow: Flow, header: Head) -> None:
+    def _update_follow_up_share(self, flow: Flow, header: PacketHeader) -> None:
         """Update a route's share of requests that follow another on their flow."""
         if flow.request_sent_at is not None and flow.has_sent_request:
             return
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -9,7 +9,7 @@
 from kumquatmux_tokens.placers import PlaceQuestion
 
 
-class Head(NamedTuple):
+class PacketHeader(NamedTuple):
     """Header fields of a caller's packet that routing needs.
 
     Attributes:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -16,8 +16,8 @@
     Decision,
     Drop,
     Forward,
-    Head,
     Hold,
+    PacketHeader,
     Reset,
     Wait,
 )
@@ -62,7 +62,7 @@
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
 
-    def handle(self, header: Head, now: float) -> Decision:
+    def handle(self, header: PacketHeader, now: float) -> Decision:
         """Return the decision for a packet."""
         if header.is_opening:
             return self._route_syn(header, now)
@@ -108,7 +108,9 @@
             return None
         return packet
 
-    def place_as(self, header: Head, answer: PlaceAnswer, now: float) -> Decision:
+    def place_as(
+        self, header: PacketHeader, answer: PlaceAnswer, now: float
+    ) -> Decision:
         """Return the decision for a SYN packet whose server another VM selected.
 
         If that server is unknown here or accepts no new flows, this VM selects one.
@@ -153,7 +155,7 @@
         self.held.remove_expired(now)
         self.placers.remove_expired(now)
 
-    def _route_syn(self, header: Head, now: float) -> Decision:
+    def _route_syn(self, header: PacketHeader, now: float) -> Decision:
         route = self.routes.routes.get(header.route)
         if route is None:
             return self._decide_without_route(header)
@@ -194,7 +196,7 @@
         )
 
     def _place_locally(
-        self, header: Head, service: ServiceName, now: float
+        self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
         flow = self.load.flows.get(header.flow)
         tried_tokens = (
@@ -271,7 +273,7 @@
                 by_receiver.setdefault(coordinator, []).append(server_load)
         return by_receiver
 
-    def _route_by_token(self, header: Head, now: float) -> Decision:
+    def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         flow = self.load.flows.get(header.flow)
         token = header.token
         if flow is not None and flow.is_established and token in flow.tried_tokens:
@@ -292,7 +294,9 @@
             return Reset(header.acknowledged, "server-silent")
         return Forward(entry.record, token)
 
-    def _is_server_lost(self, header: Head, record: ServerRecord, now: float) -> bool:
+    def _is_server_lost(
+        self, header: PacketHeader, record: ServerRecord, now: float
+    ) -> bool:
         """Return whether a flow's server is gone, judged by two kinds of evidence.
 
         The caller retransmits while the server answers no caller of this VM. In
@@ -308,13 +312,13 @@
             or self.load.has_unanswered_syns(record.token)
         )
 
-    def _decide_without_route(self, header: Head) -> Decision:
+    def _decide_without_route(self, header: PacketHeader) -> Decision:
         if not self.routes.number:
             return Wait("no-document")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
 
     def _decide_without_server(
-        self, header: Head, service: ServiceName, now: float
+        self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
         """Return the decision for a SYN packet of a service without servers.
 
@@ -328,7 +332,11 @@
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
 
     def _log_placement(
-        self, header: Head, entry: ServerEntry, now: float, **details: float | str
+        self,
+        header: PacketHeader,
+        entry: ServerEntry,
+        now: float,
+        **details: float | str,
     ) -> None:
         report = entry.record.report
         log_decision(
@@ -343,7 +351,7 @@
             **details,
         )
 
-    def _log_unanswered_syn(self, header: Head, token: int) -> None:
+    def _log_unanswered_syn(self, header: PacketHeader, token: int) -> None:
         local_load = self.load.local_load_at(token)
         log_decision(
             "server-unanswered",
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.settings import TokenSettings
 
 
@@ -18,7 +18,7 @@
         expires_at: Time when it is dropped, in monotonic seconds.
     """
 
-    head: Head
+    head: PacketHeader
     data: bytes
     expires_at: float
 
@@ -36,7 +36,7 @@
         self.by_token: dict[int, list[Held]] = {}
         self.count = 0
 
-    def put(self, header: Head, data: bytes, now: float) -> bool:
+    def put(self, header: PacketHeader, data: bytes, now: float) -> bool:
         """Buffer a packet if there is room; return whether to look up its token.
 
         The token is looked up only for the first packet that carries it.
@@ -77,7 +77,7 @@
         self.settings = settings
         self.by_flow: dict[bytes, Held] = {}
 
-    def put(self, header: Head, data: bytes, now: float) -> bool:
+    def put(self, header: PacketHeader, data: bytes, now: float) -> bool:
         """Buffer a SYN packet; return whether there was room.
 
         A retransmission replaces the SYN packet buffered for its flow and keeps its
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -3,17 +3,17 @@
 import pytest
 
 from kumquatmux_tokens.load import LoadTracker
-from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.work import LoadShare
 
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
 FLOW_KEY = bytes(6) + ROUTE_ADDRESS
-SYN = Head(FLOW_KEY, ROUTE_ADDRESS, 0, True, False, 0, 100, 0, 0)
+SYN = PacketHeader(FLOW_KEY, ROUTE_ADDRESS, 0, True, False, 0, 100, 0, 0)
 
 
 def make_packet(sequence=101, acknowledged=500, length=0, is_closing=False):
-    return Head(
+    return PacketHeader(
         FLOW_KEY, ROUTE_ADDRESS, 7, False, is_closing, 0, sequence, acknowledged, length
     )
 
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -8,7 +8,15 @@
 
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.packets import Ask, Drop, Forward, Head, Hold, Reset, Wait
+from kumquatmux_tokens.packets import (
+    Ask,
+    Drop,
+    Forward,
+    Hold,
+    PacketHeader,
+    Reset,
+    Wait,
+)
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, Share
@@ -44,7 +52,7 @@
 
 
 def make_syn(caller=1, retransmission_count=0, route_address=ROUTE_ADDRESS):
-    return Head(
+    return PacketHeader(
         make_flow_key(caller, route_address),
         route_address,
         0,
@@ -66,7 +74,7 @@
     length=9,
 ):
     flow_key = make_flow_key(caller, route_address)
-    return Head(
+    return PacketHeader(
         flow_key, route_address, token, False, False, 0, sequence, acknowledged, length
     )
 
@@ -332,7 +340,7 @@
 
 
 HEADERS = st.builds(
-    Head,
+    PacketHeader,
     flow=st.binary(min_size=12, max_size=12),
     route=st.sampled_from([ROUTE_ADDRESS, OTHER_ROUTE_ADDRESS]),
     token=st.sampled_from([0, 1, make_server_record("i-1").token, 0xFFFFFFFF]),
--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatmux_tokens.packets import Head
+from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.waiting import SynBuffer
 
@@ -10,7 +10,7 @@
 
 
 def make_syn(retransmission_count=0, flow_key=b"f"):
-    return Head(
+    return PacketHeader(
         flow_key, b"r", 0, True, False, retransmission_count, 0, retransmission_count, 0
     )
 
