Rename flow to flow_key

The field holds the key of a flow, not a flow.

Rename: libs/tokens/src/kumquatmux_tokens/packets.py flow flow_key

--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -26,7 +26,7 @@
         length: Payload length in bytes.
     """
 
-    flow: bytes
+    flow_key: bytes
     route: bytes
     token: int
     is_opening: bool
