--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -313,9 +313,9 @@
         """Update a route's share of requests that follow another on their flow."""
         if flow.request_sent_at is not None and flow.has_sent_request:
             return
-        share = self.follow_up_share.get(header.route, 0.0)
+        share = self.follow_up_share.get(header.route_address, 0.0)
         smoothing = self.settings.follow_up_share_smoothing
-        self.follow_up_share[header.route] = share + smoothing * (
+        self.follow_up_share[header.route_address] = share + smoothing * (
             float(flow.has_sent_request) - share
         )
         flow.has_sent_request = True
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -27,7 +27,7 @@
     """
 
     flow_key: bytes
-    route: bytes
+    route_address: bytes
     token: int
     is_opening: bool
     is_closing: bool
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -101,7 +101,7 @@
         packet = self.waiting.by_flow.get(answer.flow_key)
         if packet is None:
             return None
-        route = self.routes.routes.get(packet.head.route)
+        route = self.routes.routes.get(packet.head.route_address)
         service = route.select_service(answer.flow_key) if route else ServiceName("")
         if answer.is_full:
             self.last_full_at[service] = now
@@ -115,7 +115,7 @@
 
         If that server is unknown here or accepts no new flows, this VM selects one.
         """
-        route = self.routes.routes.get(header.route)
+        route = self.routes.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header)
         service = route.select_service(header.flow)
@@ -156,7 +156,7 @@
         self.placers.remove_expired(now)
 
     def _route_syn(self, header: PacketHeader, now: float) -> Decision:
-        route = self.routes.routes.get(header.route)
+        route = self.routes.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header)
         service = route.select_service(header.flow)
@@ -186,7 +186,7 @@
         if self._is_placement_paused(service, now):
             return Wait("no-slot")
         self.placers.record_request(coordinator, header.flow, now)
-        expects_many_requests = self.load.expects_many_requests(header.route)
+        expects_many_requests = self.load.expects_many_requests(header.route_address)
         own_vm = self.settings.vm
         return Ask(
             coordinator,
@@ -203,7 +203,7 @@
             flow.tried_tokens if flow is not None and not flow.is_established else ()
         )
         new_flow = NewFlow(
-            tried_tokens, self.load.expects_many_requests(header.route), now
+            tried_tokens, self.load.expects_many_requests(header.route_address), now
         )
         selection = self._select_server(service, new_flow)
         if selection is None:
@@ -282,7 +282,7 @@
         if entry is None:
             return Hold(token) if token else Drop("no-token")
         if self.routes.was_removed_before(
-            header.route, now - self.settings.removed_route_grace_s
+            header.route_address, now - self.settings.removed_route_grace_s
         ):
             return Reset(header.acknowledged, "route-removed")
         ended_at = entry.ended_at
--- a/tests/adapter/test_packets.py
+++ b/tests/adapter/test_packets.py
@@ -35,7 +35,7 @@
     head = read_head(OPENING)
     assert head.is_opening
     assert not head.is_closing
-    assert head.route == bytes([198, 18, 0, 3]) + (8443).to_bytes(2)
+    assert head.route_address == bytes([198, 18, 0, 3]) + (8443).to_bytes(2)
     assert head.flow[:6] == bytes([100, 64, 0, 9]) + (1234).to_bytes(2)
     assert (head.token, head.copy, head.sequence, head.length) == (0, 0, 16, 0)
 
