--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -168,7 +168,7 @@
             "flow-reset",
             flow=head.flow.hex(),
             reason=decision.reason,
-            opening=head.is_opening,
+            opening=head.is_syn,
             token=head.token,
             document=self.router.routes.number,
         )
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -29,7 +29,7 @@
     flow_key: bytes
     route_address: bytes
     token: int
-    is_opening: bool
+    is_syn: bool
     is_closing: bool
     copy: int
     sequence: int
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -64,7 +64,7 @@
 
     def handle(self, header: PacketHeader, now: float) -> Decision:
         """Return the decision for a packet."""
-        if header.is_opening:
+        if header.is_syn:
             return self._route_syn(header, now)
         return self._route_by_token(header, now)
 
--- a/tests/adapter/test_packets.py
+++ b/tests/adapter/test_packets.py
@@ -33,7 +33,7 @@
 
 def test_an_opening_packet_is_read():
     head = read_head(OPENING)
-    assert head.is_opening
+    assert head.is_syn
     assert not head.is_closing
     assert head.route_address == bytes([198, 18, 0, 3]) + (8443).to_bytes(2)
     assert head.flow[:6] == bytes([100, 64, 0, 9]) + (1234).to_bytes(2)
@@ -48,7 +48,7 @@
 def test_a_data_packet_is_read():
     head = read_head(DATA + b"abc")
     assert (head.token, head.sequence, head.acknowledged) == (0xC0FFEE, 17, 0x222)
-    assert (head.length, head.copy, head.is_opening) == (3, 0, False)
+    assert (head.length, head.copy, head.is_syn) == (3, 0, False)
 
 
 @pytest.mark.parametrize(("flags", "closing"), [(8, True), (64, True), (16, False)])
