--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -179,7 +179,7 @@
         flow.last_packet_at = now
         if not flow.is_established:
             self._establish(flow, token, header, now)
-        if header.is_closing:
+        if header.is_fin_or_rst:
             self._remove(header.flow)
             return
         if header.length and _is_sequence_after(
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -30,7 +30,7 @@
     route_address: bytes
     token: int
     is_syn: bool
-    is_closing: bool
+    is_fin_or_rst: bool
     copy: int
     sequence: int
     acknowledged: int
--- a/tests/adapter/test_packets.py
+++ b/tests/adapter/test_packets.py
@@ -34,7 +34,7 @@
 def test_an_opening_packet_is_read():
     head = read_head(OPENING)
     assert head.is_syn
-    assert not head.is_closing
+    assert not head.is_fin_or_rst
     assert head.route_address == bytes([198, 18, 0, 3]) + (8443).to_bytes(2)
     assert head.flow[:6] == bytes([100, 64, 0, 9]) + (1234).to_bytes(2)
     assert (head.token, head.copy, head.sequence, head.length) == (0, 0, 16, 0)
@@ -54,7 +54,7 @@
 @pytest.mark.parametrize(("flags", "closing"), [(8, True), (64, True), (16, False)])
 def test_a_caller_that_closes_or_breaks_off_is_seen(flags, closing):
     packet = DATA[:28] + bytes([flags]) + DATA[29:34] + bytes(2)
-    assert read_head(packet).is_closing == closing
+    assert read_head(packet).is_fin_or_rst == closing
 
 
 @pytest.mark.parametrize(
