Rename copy to retransmission_count

Counts how often the caller sent the same SYN before.

Rename: libs/tokens/src/kumquatmux_tokens/packets.py copy retransmission_count

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -185,7 +185,7 @@
             "packet-dropped",
             flow=head.flow.hex(),
             reason=decision.reason,
-            copy=head.copy,
+            copy=head.retransmission_count,
             document=self.router.routes.number,
         )
         return []
@@ -203,7 +203,7 @@
                 "opening-waits",
                 flow=head.flow.hex(),
                 reason=decision.reason,
-                copy=head.copy,
+                copy=head.retransmission_count,
                 document=self.router.routes.number,
             )
         return []
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -31,7 +31,7 @@
     token: int
     is_syn: bool
     is_fin_or_rst: bool
-    copy: int
+    retransmission_count: int
     sequence: int
     acknowledged: int
     length: int
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -166,7 +166,12 @@
             flow is not None
             and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
         )
-        if flow is not None and is_retransmission and header.copy and not is_too_soon:
+        if (
+            flow is not None
+            and is_retransmission
+            and header.retransmission_count
+            and not is_too_soon
+        ):
             if self.load.record_unanswered_syn(flow, now):
                 self._log_unanswered_syn(header, flow.token)
         elif flow is not None and is_retransmission:
@@ -342,7 +347,7 @@
         log_decision(
             "flow-placed",
             flow=header.flow.hex(),
-            copy=header.copy,
+            copy=header.retransmission_count,
             document=self.routes.number,
             service=report.service,
             server=report.lifetime,
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -87,7 +87,9 @@
         buffered = self.by_flow.get(header.flow)
         if buffered is None and len(self.by_flow) >= settings.syn_buffer_limit:
             return False
-        offset_index = min(header.copy, len(settings.syn_transmission_offsets_s) - 1)
+        offset_index = min(
+            header.retransmission_count, len(settings.syn_transmission_offsets_s) - 1
+        )
         first_sent_at = now - settings.syn_transmission_offsets_s[offset_index]
         expires_at = (
             buffered.expires_at
