--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -173,7 +173,7 @@
         flow = self.flows.get(header.flow)
         if flow is None:
             flow = self.flows[header.flow] = Flow(token, now)
-            flow.next_sequence_number = header.sequence
+            flow.next_sequence_number = header.sequence_number
             flow.has_sent_request = True
             self.local_load_at(token).open_flows += 1
         flow.last_packet_at = now
@@ -183,10 +183,10 @@
             self._remove(header.flow)
             return
         if header.length and _is_sequence_after(
-            header.sequence + header.length, flow.next_sequence_number
+            header.sequence_number + header.length, flow.next_sequence_number
         ):
             flow.next_sequence_number = (
-                header.sequence + header.length
+                header.sequence_number + header.length
             ) % SEQUENCE_SPACE
             flow.baseline_ack_number = header.acknowledged
             flow.last_data_at = now
@@ -289,7 +289,7 @@
         """
         flow.is_established = True
         flow.baseline_ack_number = header.acknowledged
-        flow.next_sequence_number = header.sequence
+        flow.next_sequence_number = header.sequence_number
         if flow.token != token:
             has_request = flow.request_sent_at is not None
             self._end_request(flow)
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -32,7 +32,7 @@
     is_syn: bool
     is_fin_or_rst: bool
     retransmission_count: int
-    sequence: int
+    sequence_number: int
     acknowledged: int
     length: int
 
--- a/tests/adapter/test_packets.py
+++ b/tests/adapter/test_packets.py
@@ -37,7 +37,7 @@
     assert not head.is_fin_or_rst
     assert head.route_address == bytes([198, 18, 0, 3]) + (8443).to_bytes(2)
     assert head.flow[:6] == bytes([100, 64, 0, 9]) + (1234).to_bytes(2)
-    assert (head.token, head.copy, head.sequence, head.length) == (0, 0, 16, 0)
+    assert (head.token, head.copy, head.sequence_number, head.length) == (0, 0, 16, 0)
 
 
 def test_a_copy_of_an_opening_packet_counts_itself():
@@ -47,7 +47,11 @@
 
 def test_a_data_packet_is_read():
     head = read_head(DATA + b"abc")
-    assert (head.token, head.sequence, head.acknowledged) == (0xC0FFEE, 17, 0x222)
+    assert (head.token, head.sequence_number, head.acknowledged) == (
+        0xC0FFEE,
+        17,
+        0x222,
+    )
     assert (head.length, head.copy, head.is_syn) == (3, 0, False)
 
 
