Rename acknowledged to ack_number

Usual term of TCP-like protocols.

Rename: libs/tokens/src/kumquatmux_tokens/packets.py acknowledged ack_number

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -188,13 +188,13 @@
             flow.next_sequence_number = (
                 header.sequence_number + header.length
             ) % SEQUENCE_SPACE
-            flow.baseline_ack_number = header.acknowledged
+            flow.baseline_ack_number = header.ack_number
             flow.last_data_at = now
             flow.retransmissions = 0
             self._update_follow_up_share(flow, header)
             self._start_request(flow, now)
-        elif _is_sequence_after(header.acknowledged, flow.baseline_ack_number):
-            flow.baseline_ack_number = header.acknowledged
+        elif _is_sequence_after(header.ack_number, flow.baseline_ack_number):
+            flow.baseline_ack_number = header.ack_number
             flow.retransmissions = 0
             self.local_load_at(flow.token).last_answer_at = now
             if flow.request_sent_at is not None:
@@ -288,7 +288,7 @@
         This is not always the server that the latest SYN packet was sent to.
         """
         flow.is_established = True
-        flow.baseline_ack_number = header.acknowledged
+        flow.baseline_ack_number = header.ack_number
         flow.next_sequence_number = header.sequence_number
         if flow.token != token:
             has_request = flow.request_sent_at is not None
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -33,7 +33,7 @@
     is_fin_or_rst: bool
     retransmission_count: int
     sequence_number: int
-    acknowledged: int
+    ack_number: int
     length: int
 
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -289,14 +289,14 @@
         if self.routes.was_removed_before(
             header.route_address, now - self.settings.removed_route_grace_s
         ):
-            return Reset(header.acknowledged, "route-removed")
+            return Reset(header.ack_number, "route-removed")
         ended_at = entry.ended_at
         if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
-            return Reset(header.acknowledged, "server-ended")
+            return Reset(header.ack_number, "server-ended")
         self.load.record_packet(header, token, now)
         if self._is_server_lost(header, entry.record, now):
             self.load.remove_flow(header.flow)
-            return Reset(header.acknowledged, "server-silent")
+            return Reset(header.ack_number, "server-silent")
         return Forward(entry.record, token)
 
     def _is_server_lost(
--- a/tests/adapter/test_packets.py
+++ b/tests/adapter/test_packets.py
@@ -47,7 +47,7 @@
 
 def test_a_data_packet_is_read():
     head = read_head(DATA + b"abc")
-    assert (head.token, head.sequence_number, head.acknowledged) == (
+    assert (head.token, head.sequence_number, head.ack_number) == (
         0xC0FFEE,
         17,
         0x222,
