--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -182,11 +182,11 @@
         if header.is_fin_or_rst:
             self._remove(header.flow)
             return
-        if header.length and _is_sequence_after(
-            header.sequence_number + header.length, flow.next_sequence_number
+        if header.payload_length and _is_sequence_after(
+            header.sequence_number + header.payload_length, flow.next_sequence_number
         ):
             flow.next_sequence_number = (
-                header.sequence_number + header.length
+                header.sequence_number + header.payload_length
             ) % SEQUENCE_SPACE
             flow.baseline_ack_number = header.ack_number
             flow.last_data_at = now
@@ -200,7 +200,7 @@
             if flow.request_sent_at is not None:
                 self.latencies.record("first-answer", now - flow.request_sent_at)
             self._end_request(flow)
-        elif header.length:
+        elif header.payload_length:
             flow.retransmissions += 1
 
     def is_server_unresponsive(self, flow_key: bytes, now: float) -> bool:
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -34,7 +34,7 @@
     retransmission_count: int
     sequence_number: int
     ack_number: int
-    length: int
+    payload_length: int
 
 
 class Forward(NamedTuple):
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -308,7 +308,9 @@
         addition, the server's reports are overdue, its zone is unreachable, or SYN
         packets to it went unanswered.
         """
-        if not header.length or not self.load.is_server_unresponsive(header.flow, now):
+        if not header.payload_length or not self.load.is_server_unresponsive(
+            header.flow, now
+        ):
             return False
         is_zone_unreachable = record.report.zone in self.load.silent_zones
         return (
--- a/tests/adapter/test_packets.py
+++ b/tests/adapter/test_packets.py
@@ -37,7 +37,12 @@
     assert not head.is_fin_or_rst
     assert head.route_address == bytes([198, 18, 0, 3]) + (8443).to_bytes(2)
     assert head.flow[:6] == bytes([100, 64, 0, 9]) + (1234).to_bytes(2)
-    assert (head.token, head.copy, head.sequence_number, head.length) == (0, 0, 16, 0)
+    assert (head.token, head.copy, head.sequence_number, head.payload_length) == (
+        0,
+        0,
+        16,
+        0,
+    )
 
 
 def test_a_copy_of_an_opening_packet_counts_itself():
@@ -52,7 +57,7 @@
         17,
         0x222,
     )
-    assert (head.length, head.copy, head.is_syn) == (3, 0, False)
+    assert (head.payload_length, head.copy, head.is_syn) == (3, 0, False)
 
 
 @pytest.mark.parametrize(("flags", "closing"), [(8, True), (64, True), (16, False)])
@@ -105,5 +110,5 @@
 def test_any_bytes_are_read_or_left(packet):
     head = read_head(packet)
     if head is not None:
-        assert len(packet) == 36 + head.length
+        assert len(packet) == 36 + head.payload_length
         assert len(head.flow) == 12
