--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -21,7 +21,7 @@
     Decision,
     Drop,
     Forward,
-    Hold,
+    HoldForToken,
     PacketHeader,
     Reset,
     Wait,
@@ -220,7 +220,7 @@
 
     @_carry_out.register
     def _(
-        self, decision: Hold, head: PacketHeader, data: bytes, now: float
+        self, decision: HoldForToken, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
         self.counts["packets.held"] += 1
         if not self.router.held.put(head, data, now):
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -61,7 +61,7 @@
     reason: str
 
 
-class Hold(NamedTuple):
+class HoldForToken(NamedTuple):
     """Decision to buffer the packet while its unknown token is looked up.
 
     Attributes:
@@ -103,4 +103,4 @@
     question: PlaceQuestion
 
 
-Decision = Forward | Reset | Hold | Wait | Ask | Drop
+Decision = Forward | Reset | HoldForToken | Wait | Ask | Drop
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -16,7 +16,7 @@
     Decision,
     Drop,
     Forward,
-    Hold,
+    HoldForToken,
     PacketHeader,
     Reset,
     Wait,
@@ -285,7 +285,7 @@
             token = flow.token
         entry = self.directory.by_token.get(token)
         if entry is None:
-            return Hold(token) if token else Drop("no-token")
+            return HoldForToken(token) if token else Drop("no-token")
         if self.routes.was_removed_before(
             header.route_address, now - self.settings.removed_route_grace_s
         ):
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -12,7 +12,7 @@
     Ask,
     Drop,
     Forward,
-    Hold,
+    HoldForToken,
     PacketHeader,
     Reset,
     Wait,
@@ -103,7 +103,7 @@
 
 def test_packet_with_an_unknown_token_is_not_forwarded():
     router = make_router(make_server_record("i-1"))
-    assert router.handle(make_data_packet(77), NOW_S) == Hold(77)
+    assert router.handle(make_data_packet(77), NOW_S) == HoldForToken(77)
     assert router.handle(make_data_packet(0), NOW_S) == Drop("no-token")
 
 
