--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -21,10 +21,10 @@
     Decision,
     Drop,
     Forward,
+    HoldForServer,
     HoldForToken,
     PacketHeader,
     Reset,
-    Wait,
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
@@ -192,7 +192,7 @@
 
     @_carry_out.register
     def _(
-        self, decision: Wait, head: PacketHeader, data: bytes, now: float
+        self, decision: HoldForServer, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
         is_new = head.flow not in self.router.waiting.by_flow
         if not self.router.waiting.put(head, data, now):
@@ -302,7 +302,7 @@
 
     def _release(self, decision: Decision, held: Held, now: float) -> list[Effect]:
         """Carry out a decision about an opening packet that waits."""
-        if isinstance(decision, Wait):
+        if isinstance(decision, HoldForServer):
             return []
         if not isinstance(decision, Ask):
             self.router.waiting.remove(held.head.flow)
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -71,7 +71,7 @@
     token: int
 
 
-class Wait(NamedTuple):
+class HoldForServer(NamedTuple):
     """Decision to buffer a SYN packet until its flow can be placed on a server.
 
     Attributes:
@@ -103,4 +103,4 @@
     question: PlaceQuestion
 
 
-Decision = Forward | Reset | HoldForToken | Wait | Ask | Drop
+Decision = Forward | Reset | HoldForToken | HoldForServer | Ask | Drop
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -16,10 +16,10 @@
     Decision,
     Drop,
     Forward,
+    HoldForServer,
     HoldForToken,
     PacketHeader,
     Reset,
-    Wait,
 )
 from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.routes import RouteSet, RouteTable
@@ -183,13 +183,13 @@
         )
         if header.flow in self.placers.pending_requests:
             if self.placers.is_pending(header.flow, now):
-                return Wait("asked")
+                return HoldForServer("asked")
             return self._place_locally(header, service, now)
         coordinator = self.placers.placer(service, now)
         if coordinator == self.settings.vm:
             return self._place_locally(header, service, now)
         if self._is_placement_paused(service, now):
-            return Wait("no-slot")
+            return HoldForServer("no-slot")
         self.placers.record_request(coordinator, header.flow, now)
         expects_many_requests = self.load.expects_many_requests(header.route_address)
         own_vm = self.settings.vm
@@ -215,7 +215,7 @@
             return self._decide_without_server(header, service, now)
         self.last_served_at[service] = now
         if selection.is_full:
-            return Wait("no-slot")
+            return HoldForServer("no-slot")
         token = selection.entry.record.token
         self.load.record_syn(header, token, now)
         self._log_placement(
@@ -321,7 +321,7 @@
 
     def _decide_without_route(self, header: PacketHeader) -> Decision:
         if not self.routes.number:
-            return Wait("no-document")
+            return HoldForServer("no-document")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
 
     def _decide_without_server(
@@ -335,7 +335,7 @@
         """
         waiting_since = self.last_served_at.get(service, self.started_at)
         if waiting_since > now - self.settings.server_wait_s:
-            return Wait("no-server-yet")
+            return HoldForServer("no-server-yet")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
 
     def _log_placement(
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -12,10 +12,10 @@
     Ask,
     Drop,
     Forward,
+    HoldForServer,
     HoldForToken,
     PacketHeader,
     Reset,
-    Wait,
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
@@ -136,12 +136,12 @@
 
 def test_syn_waits_until_a_document_is_installed():
     router = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
-    assert router.handle(make_syn(), NOW_S) == Wait("no-document")
+    assert router.handle(make_syn(), NOW_S) == HoldForServer("no-document")
 
 
 def test_syn_waits_for_a_first_server_and_is_reset_after_the_timeout():
     router = make_router(now=0.0)
-    assert router.handle(make_syn(), 4.0) == Wait("no-server-yet")
+    assert router.handle(make_syn(), 4.0) == HoldForServer("no-server-yet")
     assert router.handle(make_syn(), 6.0) == Reset(0, "no-server")
 
 
@@ -258,7 +258,7 @@
         if token == 5
     }
     assert router.directory.colliding_tokens == {5}
-    assert router.handle(make_syn(), 3.0) == Wait("no-server-yet")
+    assert router.handle(make_syn(), 3.0) == HoldForServer("no-server-yet")
 
 
 def retransmit(router, token, times=3, gap_s=0.3):
@@ -334,7 +334,7 @@
     record = make_server_record("i-1")
     router = make_router(record)
     router.load.local_load_at(record.token).active_requests = 8
-    assert router.handle(make_syn(), NOW_S) == Wait("no-slot")
+    assert router.handle(make_syn(), NOW_S) == HoldForServer("no-slot")
     router.load.local_load_at(record.token).active_requests = 7
     assert isinstance(router.handle(make_syn(), NOW_S), Forward)
 
@@ -440,7 +440,7 @@
 def test_flow_is_placed_locally_after_a_placement_timeout():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     router.handle(make_syn(), NOW_S)
-    assert router.handle(make_syn(), NOW_S + 0.02) == Wait("asked")
+    assert router.handle(make_syn(), NOW_S + 0.02) == HoldForServer("asked")
     assert isinstance(router.handle(make_syn(), NOW_S + 0.05), Forward)
     assert isinstance(router.handle(make_syn(2), NOW_S + 0.06), Forward)
 
