--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -17,13 +17,13 @@
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_registry.table import ServerTable
 from kumquatmux_tokens.packets import (
-    Ask,
     Decision,
     Drop,
     Forward,
     HoldForServer,
     HoldForToken,
     PacketHeader,
+    RequestPlacement,
     Reset,
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
@@ -210,7 +210,7 @@
 
     @_carry_out.register
     def _(
-        self, decision: Ask, head: PacketHeader, data: bytes, now: float
+        self, decision: RequestPlacement, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
         self.counts["openings.asked"] += 1
         if not self.router.waiting.put(head, data, now):
@@ -304,7 +304,7 @@
         """Carry out a decision about an opening packet that waits."""
         if isinstance(decision, HoldForServer):
             return []
-        if not isinstance(decision, Ask):
+        if not isinstance(decision, RequestPlacement):
             self.router.waiting.remove(held.head.flow)
         return self._carry_out(decision, held.head, held.data, now)
 
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -91,7 +91,7 @@
     reason: str
 
 
-class Ask(NamedTuple):
+class RequestPlacement(NamedTuple):
     """Decision to buffer a SYN packet and ask another VM to select its server.
 
     Attributes:
@@ -103,4 +103,4 @@
     question: PlaceQuestion
 
 
-Decision = Forward | Reset | HoldForToken | HoldForServer | Ask | Drop
+Decision = Forward | Reset | HoldForToken | HoldForServer | RequestPlacement | Drop
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -12,13 +12,13 @@
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import (
-    Ask,
     Decision,
     Drop,
     Forward,
     HoldForServer,
     HoldForToken,
     PacketHeader,
+    RequestPlacement,
     Reset,
 )
 from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlaceQuestion
@@ -193,7 +193,7 @@
         self.placers.record_request(coordinator, header.flow, now)
         expects_many_requests = self.load.expects_many_requests(header.route_address)
         own_vm = self.settings.vm
-        return Ask(
+        return RequestPlacement(
             coordinator,
             PlaceQuestion(
                 own_vm, header.flow, service, tried_tokens, expects_many_requests
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -9,12 +9,12 @@
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.packets import (
-    Ask,
     Drop,
     Forward,
     HoldForServer,
     HoldForToken,
     PacketHeader,
+    RequestPlacement,
     Reset,
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
@@ -397,7 +397,7 @@
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
     request = PlaceQuestion("e1", header.flow, "entries", (), False)
-    assert router.handle(header, NOW_S) == Ask(coordinator, request)
+    assert router.handle(header, NOW_S) == RequestPlacement(coordinator, request)
 
 
 def test_flow_is_placed_on_the_server_in_the_placement_answer():
@@ -434,7 +434,7 @@
         coordinator, header.flow, make_server_record("i-1").token, True, 0
     )
     assert router.take_answer(full_answer, NOW_S) is None
-    assert isinstance(router.handle(header, NOW_S + 0.05), Ask)
+    assert isinstance(router.handle(header, NOW_S + 0.05), RequestPlacement)
 
 
 def test_flow_is_placed_locally_after_a_placement_timeout():
