Rename question to request

The message is a placement request.

Rename: libs/tokens/src/kumquatmux_tokens/packets.py question request

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -216,7 +216,7 @@
         if not self.router.waiting.put(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
             return []
-        return [Sent(decision.vm, decision.question)]
+        return [Sent(decision.vm, decision.request)]
 
     @_carry_out.register
     def _(
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -100,7 +100,7 @@
     """
 
     vm: VmId
-    question: PlaceQuestion
+    request: PlaceQuestion
 
 
 Decision = Forward | Reset | HoldForToken | HoldForServer | RequestPlacement | Drop
