Rename vm to coordinator

The VM is the placement coordinator of the service (attribute Ask.vm).

Rename: libs/tokens/src/kumquatmux_tokens/packets.py vm coordinator

--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -99,7 +99,7 @@
         question: The message to send to it.
     """
 
-    vm: VmId
+    coordinator: VmId
     request: PlaceQuestion
 
 
