Rename LoadShare to LoadReport

The message is a load report.

Rename: libs/tokens/src/kumquatmux_tokens/work.py LoadShare LoadReport

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -30,7 +30,7 @@
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.waiting import Held
-from kumquatmux_tokens.work import LoadShare
+from kumquatmux_tokens.work import LoadReport
 
 POLL_S = 0.5
 """Seconds between polls of the control VMs, and between sweeps."""
@@ -249,7 +249,7 @@
         return effects
 
     @_take.register
-    def _(self, message: LoadShare, now: float) -> list[Effect]:
+    def _(self, message: LoadReport, now: float) -> list[Effect]:
         self.router.load.zone.take(message, now)
         return []
 
--- a/libs/tokens/src/kumquatmux_tokens/messages.py
+++ b/libs/tokens/src/kumquatmux_tokens/messages.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
-from kumquatmux_tokens.work import LoadShare
+from kumquatmux_tokens.work import LoadReport
 
 MESSAGE_TYPES: dict[int, type] = {
-    0x0605: LoadShare,
+    0x0605: LoadReport,
     0x0606: PlaceQuestion,
     0x0607: PlaceAnswer,
 }
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -25,7 +25,7 @@
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenSettings
 from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
-from kumquatmux_tokens.work import LoadShare, OutgoingReports, ServerLoad
+from kumquatmux_tokens.work import LoadReport, OutgoingReports, ServerLoad
 
 SYN_RESET_SEQUENCE_NUMBER = 0
 
@@ -128,7 +128,7 @@
         self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
-    def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
+    def tell(self, now: float) -> list[tuple[VmId, LoadReport]]:
         """Return the load reports that are due, each with its receiver."""
         loads_by_receiver = self._loads_by_receiver(now)
         due_reports = []
