Rename take to apply_report

Names the operation and its object.

Rename: libs/tokens/src/kumquatmux_tokens/work.py take apply_report

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -250,7 +250,7 @@
 
     @_take.register
     def _(self, message: LoadReport, now: float) -> list[Effect]:
-        self.router.load.zone.take(message, now)
+        self.router.load.zone.apply_report(message, now)
         return []
 
     @_take.register
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -112,7 +112,7 @@
         self.reporting_peers: dict[VmId, ReportingPeer] = {}
         self.reservation_count = 0
 
-    def take(self, report: LoadReport, now: float) -> None:
+    def apply_report(self, report: LoadReport, now: float) -> None:
         """Apply a load report from another VM.
 
         A report that a newer one overtook is ignored. A report number that is lower by
