--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -113,7 +113,7 @@
         self.settings = settings
         self.flows: dict[bytes, Flow] = {}
         self.local_loads: dict[int, LocalLoad] = {}
-        self.zone = PeerLoad(settings)
+        self.peer_load = PeerLoad(settings)
         self.forwarded_syns: deque[tuple[float, bytes]] = deque()
         self.follow_up_share: dict[bytes, float] = {}
         self.silent_zones: frozenset[ZoneName] = frozenset()
@@ -228,7 +228,7 @@
         """
         if self.local_load_at(token).unanswered_syns:
             return True
-        peer_load = self.zone.totals.get(token)
+        peer_load = self.peer_load.totals.get(token)
         return peer_load is not None and peer_load.avoiding_vms > 0
 
     def remove_flow(self, flow_key: bytes) -> None:
@@ -253,7 +253,7 @@
 
     def remove_expired(self, now: float) -> None:
         """Remove flows, requests and servers that have been idle for too long."""
-        self.zone.remove_expired(now)
+        self.peer_load.remove_expired(now)
         idle_limit = now - self.settings.flow_idle_timeout_s
         request_limit = now - self.settings.request_timeout_s
         for flow_key, flow in list(self.flows.items()):
