--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -314,9 +314,9 @@
 
     def _note_zones(self, now: float) -> None:
         silent = self.follower.silent_zones(now) - {self.settings.zone}
-        if silent != self.router.load.silent_zones:
+        if silent != self.router.load.unreachable_zones:
             log_decision("zones-silent", zones=",".join(sorted(silent)))
-        self.router.load.silent_zones = silent
+        self.router.load.unreachable_zones = silent
 
     def _note_feed(self, now: float) -> None:
         is_fed = self.follower.is_fed(now)
--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -154,7 +154,7 @@
         return 4
     if entry.record.is_late:
         return 3
-    if entry.record.report.zone in load_tracker.silent_zones:
+    if entry.record.report.zone in load_tracker.unreachable_zones:
         return LAST_RESORT_LEVEL
     peer_load = load_tracker.zone.totals.get(token)
     is_avoided = own_load is not None and own_load.avoided_until > flow.now
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -116,7 +116,7 @@
         self.peer_load = PeerLoad(settings)
         self.forwarded_syns: deque[tuple[float, bytes]] = deque()
         self.follow_up_share: dict[bytes, float] = {}
-        self.silent_zones: frozenset[ZoneName] = frozenset()
+        self.unreachable_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
 
     def local_load_at(self, token: int) -> LocalLoad:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -312,7 +312,7 @@
             header.flow, now
         ):
             return False
-        is_zone_unreachable = record.report.zone in self.load.silent_zones
+        is_zone_unreachable = record.report.zone in self.load.unreachable_zones
         return (
             record.is_late
             or is_zone_unreachable
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -138,7 +138,7 @@
     directory.store_record(make_server_record("i-1", "b"), 0.0)
     directory.store_record(make_server_record("i-2", "c"), 0.0)
     load_tracker = LoadTracker(TokenSettings("e1", "a"))
-    load_tracker.silent_zones = frozenset({"b"})
+    load_tracker.unreachable_zones = frozenset({"b"})
     selected_names = set()
     for seed in range(20):
         selection = select_server(
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -280,7 +280,7 @@
 def test_unanswered_flow_is_reset_if_the_zone_is_unreachable():
     record = make_server_record("i-1", zone="b")
     router = make_router(record)
-    router.load.silent_zones = frozenset({"b"})
+    router.load.unreachable_zones = frozenset({"b"})
     assert isinstance(retransmit(router, record.token), Reset)
 
 
