Rename TokenSettings to TokenRouterSettings

Settings of the token router.

Rename: libs/tokens/src/kumquatmux_tokens/settings.py TokenSettings TokenRouterSettings

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -28,7 +28,7 @@
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import Held
 from kumquatmux_tokens.work import LoadReport
 
@@ -81,7 +81,7 @@
         self.settings = settings
         self.format = form
         self.table = ServerTable()
-        tokens = TokenSettings(settings.vm, settings.zone)
+        tokens = TokenRouterSettings(settings.vm, settings.zone)
         self.router = TokenRouter(tokens, random, now)
         self.follower = Follower(
             FollowerSettings(settings.vm, settings.zone, False, settings.seeds)
--- a/libs/lab/src/kumquatmux_lab/benches/tokens.py
+++ b/libs/lab/src/kumquatmux_lab/benches/tokens.py
@@ -18,7 +18,7 @@
 from kumquatmux_tokens.packets import Forward, PacketHeader
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, Share
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
 SERVICE = ServiceName("entries")
@@ -77,7 +77,7 @@
     decisions.configure(as_json=False, enabled=False)
     random = Random(seed)
     router = TokenRouter(
-        TokenSettings(VmId("e1"), ZoneName("a"), queue_depth=1 << 30), random, 0.0
+        TokenRouterSettings(VmId("e1"), ZoneName("a"), queue_depth=1 << 30), random, 0.0
     )
     route = Route("r", ROUTE, (Share(SERVICE, 1),))
     router.install(RouteSet(1, (route,), frozenset({SERVICE}), 15.0), 0.0)
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -13,7 +13,7 @@
 from kumquatmux_core.identity import ZoneName
 from kumquatmux_core.latencies import Latencies
 from kumquatmux_tokens.packets import PacketHeader
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import PeerLoad, ServerLoad
 
 SEQUENCE_SPACE = 1 << 32
@@ -109,7 +109,7 @@
         latencies: Histograms of the handshake time and the time to the first answer.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.flows: dict[bytes, Flow] = {}
         self.local_loads: dict[int, LocalLoad] = {}
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -12,7 +12,7 @@
 from kumquatmux_core import rendezvous
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 
 class PlaceQuestion(NamedTuple):
@@ -88,7 +88,7 @@
         pending_requests: Unanswered placement requests by flow key.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.entry_vms: tuple[VmId, ...] = ()
         self.rankings: dict[ServiceName, list[VmId]] = {}
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -23,7 +23,7 @@
 )
 from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.routes import RouteSet, RouteTable
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
 from kumquatmux_tokens.work import LoadReport, OutgoingReports, ServerLoad
 
@@ -47,7 +47,9 @@
             full.
     """
 
-    def __init__(self, settings: TokenSettings, random: Random, now: float) -> None:
+    def __init__(
+        self, settings: TokenRouterSettings, random: Random, now: float
+    ) -> None:
         self.settings = settings
         self.random = random
         self.started_at = now
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -7,7 +7,7 @@
 from kumquatmux_core.identity import VmId, ZoneName
 
 
-class TokenSettings(NamedTuple):
+class TokenRouterSettings(NamedTuple):
     """Settings of the token router of one entry VM.
 
     Attributes:
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -6,7 +6,7 @@
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_tokens.packets import PacketHeader
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 
 class Held(NamedTuple):
@@ -31,7 +31,7 @@
         count: Total number of packets.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.by_token: dict[int, list[Held]] = {}
         self.count = 0
@@ -73,7 +73,7 @@
         by_flow: The packets by flow key.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.by_flow: dict[bytes, Held] = {}
 
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 
 class ServerLoad(NamedTuple):
@@ -106,7 +106,7 @@
         reservation_count: Number of reservations made.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.totals: dict[int, PeerLoadTotal] = {}
         self.reporting_peers: dict[VmId, ReportingPeer] = {}
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -7,7 +7,7 @@
 from kumquatmux_tokens.choice import NewFlow, select_server
 from kumquatmux_tokens.directory import ServerDirectory
 from kumquatmux_tokens.load import LoadTracker
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import LoadReport, ServerLoad
 
 NOW_S = 10.0
@@ -35,7 +35,7 @@
 ):
     """Return the name of the selected server, given requests and flows by name."""
     directory = ServerDirectory()
-    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker = LoadTracker(TokenRouterSettings("e1", "a"))
     for record in records:
         directory.store_record(record, first_known_at)
     for name, count in dict(active_requests).items():
@@ -123,7 +123,7 @@
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1"), NOW_S - 0.05)
     directory.store_record(make_server_record("i-2", "b"), 0.0)
-    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker = LoadTracker(TokenRouterSettings("e1", "a"))
     selection = select_server(
         directory.running_servers("entries"),
         FLOW_WITH_FEW_REQUESTS,
@@ -137,7 +137,7 @@
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1", "b"), 0.0)
     directory.store_record(make_server_record("i-2", "c"), 0.0)
-    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker = LoadTracker(TokenRouterSettings("e1", "a"))
     load_tracker.unreachable_zones = frozenset({"b"})
     selected_names = set()
     for seed in range(20):
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -4,7 +4,7 @@
 
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import PacketHeader
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import LoadReport
 
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
@@ -20,7 +20,7 @@
 
 @pytest.fixture
 def tracker():
-    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker = LoadTracker(TokenRouterSettings("e1", "a"))
     load_tracker.record_syn(SYN, 7, 0.0)
     return load_tracker
 
@@ -98,7 +98,7 @@
 
 
 def test_reported_load_counts_until_it_expires(tracker):
-    other_tracker = LoadTracker(TokenSettings("e2", "a"))
+    other_tracker = LoadTracker(TokenRouterSettings("e2", "a"))
     other_tracker.zone.take(
         LoadReport("e1", 1, True, 0, tuple(tracker.reportable_loads(0.1))), 0.1
     )
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kumquatmux_tokens.placers import CoordinatorSelector
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 ENTRY_VMS = ("e1", "e2", "e3")
 FLOW_KEY = bytes(12)
@@ -11,7 +11,7 @@
 
 @pytest.fixture
 def coordinators():
-    selector = CoordinatorSelector(TokenSettings("e1", "a"))
+    selector = CoordinatorSelector(TokenRouterSettings("e1", "a"))
     selector.set_peers(ENTRY_VMS)
     return selector
 
@@ -28,14 +28,17 @@
     for service in ("entries", "pagesetter", "depot-desk"):
         selected_vms = set()
         for vm in ENTRY_VMS:
-            selector = CoordinatorSelector(TokenSettings(vm, "a"))
+            selector = CoordinatorSelector(TokenRouterSettings(vm, "a"))
             selector.set_peers(ENTRY_VMS)
             selected_vms.add(selector.placer(service, 0.0))
         assert len(selected_vms) == 1
 
 
 def test_vm_without_peers_is_its_own_coordinator():
-    assert CoordinatorSelector(TokenSettings("e1", "a")).placer("entries", 0.0) == "e1"
+    assert (
+        CoordinatorSelector(TokenRouterSettings("e1", "a")).placer("entries", 0.0)
+        == "e1"
+    )
 
 
 def test_unresponsive_coordinator_is_skipped_during_its_backoff(coordinators):
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -20,7 +20,7 @@
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, Share
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
 OTHER_ROUTE_ADDRESS = bytes([198, 18, 0, 2, 1, 187])
@@ -80,7 +80,7 @@
 
 
 def make_router(*servers, now=0.0, number=1):
-    router = TokenRouter(TokenSettings("e1", "a"), Random(1), now)
+    router = TokenRouter(TokenRouterSettings("e1", "a"), Random(1), now)
     router.install(make_route_set(number), now)
     for record in servers:
         router.learn(record, now)
@@ -135,7 +135,7 @@
 
 
 def test_syn_waits_until_a_document_is_installed():
-    router = TokenRouter(TokenSettings("e1", "a"), Random(1), 0.0)
+    router = TokenRouter(TokenRouterSettings("e1", "a"), Random(1), 0.0)
     assert router.handle(make_syn(), NOW_S) == HoldForServer("no-document")
 
 
--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -3,10 +3,10 @@
 import pytest
 
 from kumquatmux_tokens.packets import PacketHeader
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import SynBuffer
 
-SETTINGS = TokenSettings("e1", "a", syn_buffer_limit=2)
+SETTINGS = TokenRouterSettings("e1", "a", syn_buffer_limit=2)
 
 
 def make_syn(retransmission_count=0, flow_key=b"f"):
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -4,10 +4,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import LoadReport, OutgoingReports, PeerLoad, ServerLoad
 
-SETTINGS = TokenSettings("e1", "a")
+SETTINGS = TokenRouterSettings("e1", "a")
 
 
 @pytest.fixture
