Rename queue_depth to server_queue_limit

It is a limit, and the queue is at the server.

Rename: libs/tokens/src/kumquatmux_tokens/settings.py queue_depth server_queue_limit

--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -190,7 +190,7 @@
         cost = (cost + 1 / slots) * settings.warm_up_cost_factor
     if report.zone != settings.zone:
         cost += settings.remote_zone_cost
-    is_full = active_requests >= slots + settings.queue_depth
+    is_full = active_requests >= slots + settings.server_queue_limit
     return Candidate(
         entry, _priority_level(entry, flow, load_tracker), is_full, cost, tie_breaker
     )
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -107,7 +107,7 @@
     removed_route_grace_s: float = 6.0
     remote_zone_cost: float = 0.7
     idle_flow_cost: float = 0.03
-    queue_depth: int = 6
+    server_queue_limit: int = 6
     warm_up_cost_factor: float = 1.6
     server_avoidance_s: float = 0.5
     server_avoidance_max_s: float = 4.0
