Rename Share to WeightedService

A service with its weight.

Rename: libs/tokens/src/kumquatmux_tokens/routes.py Share WeightedService

--- a/libs/daemons/tests/test_token_entry_zone.py
+++ b/libs/daemons/tests/test_token_entry_zone.py
@@ -15,7 +15,7 @@
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.packets import PacketHeader
-from kumquatmux_tokens.routes import Route, RouteSet, Share
+from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 
 ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
 PLACE = Endpoint("10.1.0.9", 1)
@@ -55,7 +55,7 @@
         return "100.64.0.1"
 
     def read_routes(self, content):
-        route = Route("r", ROUTE, (Share("entries", 1),))
+        route = Route("r", ROUTE, (WeightedService("entries", 1),))
         return Ok(RouteSet(1, (route,), frozenset({"entries"}), 15.0))
 
 
--- a/libs/lab/src/kumquatmux_lab/benches/tokens.py
+++ b/libs/lab/src/kumquatmux_lab/benches/tokens.py
@@ -17,7 +17,7 @@
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.packets import Forward, PacketHeader
 from kumquatmux_tokens.router import TokenRouter
-from kumquatmux_tokens.routes import Route, RouteSet, Share
+from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 from kumquatmux_tokens.settings import TokenRouterSettings
 
 ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
@@ -79,7 +79,7 @@
     router = TokenRouter(
         TokenRouterSettings(VmId("e1"), ZoneName("a"), queue_depth=1 << 30), random, 0.0
     )
-    route = Route("r", ROUTE, (Share(SERVICE, 1),))
+    route = Route("r", ROUTE, (WeightedService(SERVICE, 1),))
     router.install(RouteSet(1, (route,), frozenset({SERVICE}), 15.0), 0.0)
     for number in range(servers):
         router.learn(record(number), 0.0)
--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
@@ -31,7 +31,7 @@
 from kumquatmux_storage.store import Identity, open_or_create
 from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
 from kumquatmux_tokens.packets import PacketHeader
-from kumquatmux_tokens.routes import Route, RouteSet, Share
+from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 
 MESSAGES = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES, TOKEN_MESSAGES)
 CLUSTER = "lab"
@@ -53,7 +53,7 @@
     def read_routes(self, content: bytes) -> Result[RouteSet, Problem]:
         """Return one route, so that the document counts as in force."""
         service = ServiceName("entries")
-        route = Route("r", ROUTE_ADDRESS, (Share(service, 1),))
+        route = Route("r", ROUTE_ADDRESS, (WeightedService(service, 1),))
         number = int(content.partition(b" ")[0])
         return Ok(RouteSet(number, (route,), frozenset({service}), 15.0))
 
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.identity import Address, ServiceName
 
 
-class Share(NamedTuple):
+class WeightedService(NamedTuple):
     """A service with its weight on a route.
 
     Attributes:
@@ -32,7 +32,7 @@
 
     name: str
     address: Address
-    shares: tuple[Share, ...]
+    shares: tuple[WeightedService, ...]
 
     def select_service(self, flow_key: bytes) -> ServiceName:
         """Return the service of a flow, which is the same for every SYN of the flow.
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -19,7 +19,7 @@
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
-from kumquatmux_tokens.routes import Route, RouteSet, Share
+from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 from kumquatmux_tokens.settings import TokenRouterSettings
 
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
@@ -42,7 +42,8 @@
 def make_route_set(number=1, **services):
     addresses = services or {"entries": ROUTE_ADDRESS}
     routes = tuple(
-        Route(name, address, (Share(name, 1),)) for name, address in addresses.items()
+        Route(name, address, (WeightedService(name, 1),))
+        for name, address in addresses.items()
     )
     return RouteSet(number, routes, frozenset(addresses), 15.0)
 
@@ -369,7 +370,10 @@
 
 @pytest.mark.parametrize("weights", [(1, 0), (0, 1), (3, 1)])
 def test_route_distributes_new_flows_by_weight(weights):
-    weighted_services = (Share("entries", weights[0]), Share("pagesetter", weights[1]))
+    weighted_services = (
+        WeightedService("entries", weights[0]),
+        WeightedService("pagesetter", weights[1]),
+    )
     route = Route("r", ROUTE_ADDRESS, weighted_services)
     flow_keys = [make_flow_key(caller, ROUTE_ADDRESS) for caller in range(4000)]
     selected_services = [route.select_service(flow_key) for flow_key in flow_keys]
