--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -62,7 +62,7 @@
     number: int
     routes: tuple[Route, ...]
     services: frozenset[ServiceName]
-    idle_s: float
+    idle_timeout_s: float
 
 
 class RouteTable:
--- a/tests/adapter/test_manifest.py
+++ b/tests/adapter/test_manifest.py
@@ -47,7 +47,7 @@
 def test_a_manifest_gives_its_routes():
     routes = read_routes(changed(lambda manifest: None)).ok
     assert routes.number == 7
-    assert routes.idle_s == 9.0
+    assert routes.idle_timeout_s == 9.0
     assert routes.services == {"entries", "pagesetter"}
     one, two = routes.routes
     assert one.address == bytes([198, 18, 0, 1]) + (8443).to_bytes(2)
