--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -114,7 +114,7 @@
     async def handle(call: HttpCall) -> HttpAnswer:
         counts = core.counts + ports.peers.counts + ports.packets.counts
         gauges = {
-            "document": float(core.router.routes.number),
+            "document": float(core.router.routes.document_number),
             "servers": float(len(core.router.directory.by_token)),
             "flows": float(len(core.router.load.flows)),
             "held": float(core.router.held.count),
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -77,16 +77,16 @@
     """
 
     def __init__(self) -> None:
-        self.number = 0
+        self.document_number = 0
         self.routes: dict[bytes, Route] = {}
         self.removed_at: dict[bytes, float] = {}
 
     def install(self, route_set: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        if route_set.number <= self.number:
+        if route_set.number <= self.document_number:
             return False
         previous_routes = self.routes
-        self.number = route_set.number
+        self.document_number = route_set.number
         self.routes = {route.address: route for route in route_set.routes}
         for address in previous_routes.keys() - self.routes.keys():
             self.removed_at[address] = now
