--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -26,7 +26,7 @@
     RequestPlacement,
     Reset,
 )
-from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.placers import PlaceAnswer, PlacementRequest
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import Held
@@ -254,7 +254,7 @@
         return []
 
     @_take.register
-    def _(self, message: PlaceQuestion, now: float) -> list[Effect]:
+    def _(self, message: PlacementRequest, now: float) -> list[Effect]:
         return [Sent(message.sender, self.router.place_for(message, now))]
 
     @_take.register
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -6,7 +6,7 @@
 
 from kumquatmux_core.identity import VmId
 from kumquatmux_registry.records import ServerRecord
-from kumquatmux_tokens.placers import PlaceQuestion
+from kumquatmux_tokens.placers import PlacementRequest
 
 
 class PacketHeader(NamedTuple):
@@ -100,7 +100,7 @@
     """
 
     coordinator: VmId
-    request: PlaceQuestion
+    request: PlacementRequest
 
 
 Decision = Forward | Reset | HoldForToken | HoldForServer | RequestPlacement | Drop
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -15,7 +15,7 @@
 from kumquatmux_tokens.settings import TokenRouterSettings
 
 
-class PlaceQuestion(NamedTuple):
+class PlacementRequest(NamedTuple):
     """Placement request: asks another VM to select the server for a new flow.
 
     Attributes:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -21,7 +21,7 @@
     RequestPlacement,
     Reset,
 )
-from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlacementRequest
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
@@ -79,7 +79,7 @@
         self.directory.store_record(record, now)
         return self.held.pop_packets(record.token)
 
-    def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
+    def place_for(self, question: PlacementRequest, now: float) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
         new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
         selection = self._select_server(question.service, new_flow)
@@ -197,7 +197,7 @@
         own_vm = self.settings.vm
         return RequestPlacement(
             coordinator,
-            PlaceQuestion(
+            PlacementRequest(
                 own_vm, header.flow, service, tried_tokens, expects_many_requests
             ),
         )
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -17,7 +17,7 @@
     RequestPlacement,
     Reset,
 )
-from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.placers import PlaceAnswer, PlacementRequest
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 from kumquatmux_tokens.settings import TokenRouterSettings
@@ -400,7 +400,7 @@
 def test_syn_causes_a_placement_request_to_the_coordinator():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
-    request = PlaceQuestion("e1", header.flow, "entries", (), False)
+    request = PlacementRequest("e1", header.flow, "entries", (), False)
     assert router.handle(header, NOW_S) == RequestPlacement(coordinator, request)
 
 
@@ -455,13 +455,15 @@
     selected_tokens = set()
     for caller in range(2):
         flow_key = make_flow_key(caller, ROUTE_ADDRESS)
-        request = PlaceQuestion("e2", flow_key, "entries", (), False)
+        request = PlacementRequest("e2", flow_key, "entries", (), False)
         selected_tokens.add(router.place_for(request, NOW_S).token)
     assert selected_tokens == {first.token, second.token}
 
 
 def test_placement_answer_has_no_token_without_servers():
-    request = PlaceQuestion("e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False)
+    request = PlacementRequest(
+        "e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False
+    )
     answer = make_router().place_for(request, NOW_S)
     assert (answer.token, answer.reservation_number) == (0, 0)
 
