--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -26,7 +26,7 @@
     RequestPlacement,
     Reset,
 )
-from kumquatmux_tokens.placers import PlaceAnswer, PlacementRequest
+from kumquatmux_tokens.placers import PlacementAnswer, PlacementRequest
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import Held
@@ -258,7 +258,7 @@
         return [Sent(message.sender, self.router.place_for(message, now))]
 
     @_take.register
-    def _(self, message: PlaceAnswer, now: float) -> list[Effect]:
+    def _(self, message: PlacementAnswer, now: float) -> list[Effect]:
         held = self.router.take_answer(message, now)
         if held is None:
             return []
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -34,7 +34,7 @@
     expects_many_requests: bool
 
 
-class PlaceAnswer(NamedTuple):
+class PlacementAnswer(NamedTuple):
     """Answer to a placement request: the server selected for a new flow.
 
     Attributes:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -21,7 +21,11 @@
     RequestPlacement,
     Reset,
 )
-from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlacementRequest
+from kumquatmux_tokens.placers import (
+    CoordinatorSelector,
+    PlacementAnswer,
+    PlacementRequest,
+)
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
@@ -79,20 +83,22 @@
         self.directory.store_record(record, now)
         return self.held.pop_packets(record.token)
 
-    def place_for(self, question: PlacementRequest, now: float) -> PlaceAnswer:
+    def place_for(self, question: PlacementRequest, now: float) -> PlacementAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
         new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
         selection = self._select_server(question.service, new_flow)
         own_vm = self.settings.vm
         if selection is None:
-            return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
+            return PlacementAnswer(own_vm, question.flow_key, 0, False, 0)
         token = selection.entry.record.token
         if selection.is_full:
-            return PlaceAnswer(own_vm, question.flow_key, token, True, 0)
+            return PlacementAnswer(own_vm, question.flow_key, token, True, 0)
         reservation = self.load.zone.reserve(question.sender, token, now)
-        return PlaceAnswer(own_vm, question.flow_key, token, False, reservation.number)
+        return PlacementAnswer(
+            own_vm, question.flow_key, token, False, reservation.number
+        )
 
-    def take_answer(self, answer: PlaceAnswer, now: float) -> Held | None:
+    def take_answer(self, answer: PlacementAnswer, now: float) -> Held | None:
         """Process the answer to a placement request.
 
         Returns:
@@ -111,7 +117,7 @@
         return packet
 
     def place_as(
-        self, header: PacketHeader, answer: PlaceAnswer, now: float
+        self, header: PacketHeader, answer: PlacementAnswer, now: float
     ) -> Decision:
         """Return the decision for a SYN packet whose server another VM selected.
 
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -17,7 +17,7 @@
     RequestPlacement,
     Reset,
 )
-from kumquatmux_tokens.placers import PlaceAnswer, PlacementRequest
+from kumquatmux_tokens.placers import PlacementAnswer, PlacementRequest
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 from kumquatmux_tokens.settings import TokenRouterSettings
@@ -411,7 +411,7 @@
     router.handle(header, NOW_S)
     router.waiting.put(header, b"one", NOW_S)
     for token in (first.token, second.token):
-        answer = PlaceAnswer(coordinator, header.flow, token, False, 9)
+        answer = PlacementAnswer(coordinator, header.flow, token, False, 9)
         packet = router.take_answer(answer, NOW_S)
         assert router.place_as(packet.head, answer, NOW_S).token == token
     assert router.outgoing_reports[coordinator].used_reservation == 9
@@ -424,7 +424,7 @@
         make_server_record("i-1"), draining, other
     )
     for token in (draining.token, other.token, 77, 0):
-        answer = PlaceAnswer(coordinator, make_syn().flow, token, False, 1)
+        answer = PlacementAnswer(coordinator, make_syn().flow, token, False, 1)
         decision = router.place_as(make_syn(), answer, NOW_S)
         assert decision.server == make_server_record("i-1")
 
@@ -434,7 +434,7 @@
     header = make_syn()
     router.handle(header, NOW_S)
     router.waiting.put(header, b"one", NOW_S)
-    full_answer = PlaceAnswer(
+    full_answer = PlacementAnswer(
         coordinator, header.flow, make_server_record("i-1").token, True, 0
     )
     assert router.take_answer(full_answer, NOW_S) is None
