--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -29,7 +29,7 @@
 from kumquatmux_tokens.placers import PlacementAnswer, PlacementRequest
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.waiting import Held
+from kumquatmux_tokens.waiting import BufferedPacket
 from kumquatmux_tokens.work import LoadReport
 
 POLL_S = 0.5
@@ -300,7 +300,9 @@
             effects += self._release(decision, held, now)
         return effects
 
-    def _release(self, decision: Decision, held: Held, now: float) -> list[Effect]:
+    def _release(
+        self, decision: Decision, held: BufferedPacket, now: float
+    ) -> list[Effect]:
         """Carry out a decision about an opening packet that waits."""
         if isinstance(decision, HoldForServer):
             return []
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -28,7 +28,7 @@
 )
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
+from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer, TokenLookupBuffer
 from kumquatmux_tokens.work import LoadReport, OutgoingReports, ServerLoad
 
 SYN_RESET_SEQUENCE_NUMBER = 0
@@ -78,7 +78,7 @@
         """Install the routes of a newer document; return whether it was newer."""
         return self.routes.install(routes, now)
 
-    def learn(self, record: ServerRecord, now: float) -> list[Held]:
+    def learn(self, record: ServerRecord, now: float) -> list[BufferedPacket]:
         """Store a server's record; return the packets buffered for its token."""
         self.directory.store_record(record, now)
         return self.held.pop_packets(record.token)
@@ -98,7 +98,7 @@
             own_vm, question.flow_key, token, False, reservation.number
         )
 
-    def take_answer(self, answer: PlacementAnswer, now: float) -> Held | None:
+    def take_answer(self, answer: PlacementAnswer, now: float) -> BufferedPacket | None:
         """Process the answer to a placement request.
 
         Returns:
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -9,7 +9,7 @@
 from kumquatmux_tokens.settings import TokenRouterSettings
 
 
-class Held(NamedTuple):
+class BufferedPacket(NamedTuple):
     """A buffered packet.
 
     Attributes:
@@ -33,7 +33,7 @@
 
     def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
-        self.by_token: dict[int, list[Held]] = {}
+        self.by_token: dict[int, list[BufferedPacket]] = {}
         self.count = 0
 
     def put(self, header: PacketHeader, data: bytes, now: float) -> bool:
@@ -44,11 +44,13 @@
         if self.count >= self.settings.token_buffer_limit:
             return False
         packets = self.by_token.setdefault(header.token, [])
-        packets.append(Held(header, data, now + self.settings.token_lookup_timeout_s))
+        packets.append(
+            BufferedPacket(header, data, now + self.settings.token_lookup_timeout_s)
+        )
         self.count += 1
         return len(packets) == 1
 
-    def pop_packets(self, token: int) -> list[Held]:
+    def pop_packets(self, token: int) -> list[BufferedPacket]:
         """Remove and return the packets that carry a token."""
         packets = self.by_token.pop(token, [])
         self.count -= len(packets)
@@ -75,7 +77,7 @@
 
     def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
-        self.by_flow: dict[bytes, Held] = {}
+        self.by_flow: dict[bytes, BufferedPacket] = {}
 
     def put(self, header: PacketHeader, data: bytes, now: float) -> bool:
         """Buffer a SYN packet; return whether there was room.
@@ -96,10 +98,10 @@
             if buffered
             else first_sent_at + settings.caller_syn_timeout_s
         )
-        self.by_flow[header.flow] = Held(header, data, expires_at)
+        self.by_flow[header.flow] = BufferedPacket(header, data, expires_at)
         return True
 
-    def due(self, now: float) -> list[Held]:
+    def due(self, now: float) -> list[BufferedPacket]:
         """Drop packets whose callers no longer wait; return the other packets."""
         for flow_key, packet in list(self.by_flow.items()):
             if packet.expires_at <= now:
