--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -147,11 +147,11 @@
         heartbeat_s=HEARTBEAT_S,
         election_timeout_s=ELECTION_S,
         start_timeout_s=START_S,
-        lease_share=0.0,
-        clock_gap_s=CLOCK_GAP_S,
+        lease_fraction=0.0,
+        max_event_gap_s=CLOCK_GAP_S,
         join_period_s=JOIN_S,
-        snapshot_entries=SNAPSHOT_ENTRIES,
-        keep_entries=KEEP_ENTRIES,
+        snapshot_interval_entries=SNAPSHOT_ENTRIES,
+        retained_entries=KEEP_ENTRIES,
     )
 
 
--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
@@ -112,10 +112,10 @@
             heartbeat_s=0.12,
             election_timeout_s=0.6,
             start_timeout_s=0.15,
-            lease_share=0.0,
+            lease_fraction=0.0,
             join_period_s=0.4,
-            snapshot_entries=8,
-            keep_entries=4,
+            snapshot_interval_entries=8,
+            retained_entries=4,
         )
         settings = RegistrarSettings(
             vm=self.vm,
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings.py
@@ -48,7 +48,7 @@
         ReplicaId(founders[0], ""),
         vms,
         snapshot_interval_entries=random.choice((4, 16, 1024)),
-        keep_entries=random.choice((0, 4)),
+        retained_entries=random.choice((0, 4)),
         chunk_bytes=random.choice((1000, 16384)),
         batch_bytes=random.choice((1, 4096)),
         window_entries=random.choice((2, 64)),
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
@@ -255,7 +255,7 @@
         leaders = [
             (node.life.replica.core.term, node.vm)
             for node in self.nodes.values()
-            if node.life and node.life.replica.core.leadership
+            if node.life and node.life.replica.core.leader_state
         ]
         return self.nodes[max(leaders)[1]] if leaders else None
 
--- a/libs/lab/tests/test_settings_cluster.py
+++ b/libs/lab/tests/test_settings_cluster.py
@@ -27,7 +27,9 @@
 def new_cluster(network, *, snapshot_entries=64):
     me = ReplicaId(VMS[0], "")
     names = (*VMS, "vm-spare")
-    options = ReplicaSettings(CLUSTER, me, names, snapshot_entries=snapshot_entries)
+    options = ReplicaSettings(
+        CLUSTER, me, names, snapshot_interval_entries=snapshot_entries
+    )
     cluster = Cluster(
         names, VMS, options, ChangeLogSettings(), network, Random(5), sync_s=0.002
     )
