--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -101,11 +101,11 @@
         if self.has_served:
             return True
         is_cut_off = now - self.started_at > CUT_OFF_S
-        has_document = self.router.routes.number > 0
+        has_document = self.router.routes.document_number > 0
         if has_document and (self.follower.is_fed(now) or is_cut_off):
             self.has_served = True
             log_decision(
-                "ready", document=self.router.routes.number, cut_off=is_cut_off
+                "ready", document=self.router.routes.document_number, cut_off=is_cut_off
             )
         return self.has_served
 
@@ -130,7 +130,7 @@
             self._note_feed(now)
             self._note_zones(now)
         if now >= self.poll_at:
-            is_searching = not self.router.routes.number
+            is_searching = not self.router.routes.document_number
             self.poll_at = now + (SEARCH_S if is_searching else POLL_S)
             effects += [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
         return effects + self._share(now) + self._try_waiting(now)
@@ -166,11 +166,11 @@
         self.counts[f"resets.{decision.reason}"] += 1
         log_decision(
             "flow-reset",
-            flow=head.flow.hex(),
+            flow=head.flow_key.hex(),
             reason=decision.reason,
             opening=head.is_syn,
             token=head.token,
-            document=self.router.routes.number,
+            document=self.router.routes.document_number,
         )
         reset = self.format.reset_for(data, decision.sequence)
         target = (self.format.caller_ip(data), self.settings.packets.port)
@@ -183,10 +183,10 @@
         self.counts[f"drops.{decision.reason}"] += 1
         log_decision(
             "packet-dropped",
-            flow=head.flow.hex(),
+            flow=head.flow_key.hex(),
             reason=decision.reason,
             copy=head.retransmission_count,
-            document=self.router.routes.number,
+            document=self.router.routes.document_number,
         )
         return []
 
@@ -194,17 +194,17 @@
     def _(
         self, decision: HoldForServer, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
-        is_new = head.flow not in self.router.waiting.by_flow
+        is_new = head.flow_key not in self.router.waiting.by_flow
         if not self.router.waiting.put(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
         elif is_new:
             self.counts[f"openings.{decision.reason}"] += 1
             log_decision(
                 "opening-waits",
-                flow=head.flow.hex(),
+                flow=head.flow_key.hex(),
                 reason=decision.reason,
                 copy=head.retransmission_count,
-                document=self.router.routes.number,
+                document=self.router.routes.document_number,
             )
         return []
 
@@ -216,7 +216,7 @@
         if not self.router.waiting.put(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
             return []
-        return [Sent(decision.vm, decision.request)]
+        return [Sent(decision.coordinator, decision.request)]
 
     @_carry_out.register
     def _(
@@ -225,7 +225,7 @@
         self.counts["packets.held"] += 1
         if not self.router.held.put(head, data, now):
             return []
-        log_decision("token-asked", token=decision.token, flow=head.flow.hex())
+        log_decision("token-asked", token=decision.token, flow=head.flow_key.hex())
         question = TokenQuestion(self.settings.vm, decision.token)
         asked = {*self.follower.peers, *self.follower.sources} - {self.settings.vm}
         return [Sent(vm, question) for vm in sorted(asked)]
@@ -250,7 +250,7 @@
 
     @_take.register
     def _(self, message: LoadReport, now: float) -> list[Effect]:
-        self.router.load.zone.apply_report(message, now)
+        self.router.load.peer_load.apply_report(message, now)
         return []
 
     @_take.register
@@ -307,7 +307,7 @@
         if isinstance(decision, HoldForServer):
             return []
         if not isinstance(decision, RequestPlacement):
-            self.router.waiting.remove(held.head.flow)
+            self.router.waiting.remove(held.head.flow_key)
         return self._carry_out(decision, held.head, held.data, now)
 
     def _share(self, now: float) -> list[Effect]:
--- a/libs/lab/src/kumquatmux_lab/benches/tokens.py
+++ b/libs/lab/src/kumquatmux_lab/benches/tokens.py
@@ -77,7 +77,9 @@
     decisions.configure(as_json=False, enabled=False)
     random = Random(seed)
     router = TokenRouter(
-        TokenRouterSettings(VmId("e1"), ZoneName("a"), queue_depth=1 << 30), random, 0.0
+        TokenRouterSettings(VmId("e1"), ZoneName("a"), server_queue_limit=1 << 30),
+        random,
+        0.0,
     )
     route = Route("r", ROUTE, (WeightedService(SERVICE, 1),))
     router.install(RouteSet(1, (route,), frozenset({SERVICE}), 15.0), 0.0)
--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -156,7 +156,7 @@
         return 3
     if entry.record.report.zone in load_tracker.unreachable_zones:
         return LAST_RESORT_LEVEL
-    peer_load = load_tracker.zone.totals.get(token)
+    peer_load = load_tracker.peer_load.totals.get(token)
     is_avoided = own_load is not None and own_load.avoided_until > flow.now
     if is_avoided or (peer_load is not None and peer_load.avoiding_vms > 0):
         return LAST_RESORT_LEVEL
@@ -175,7 +175,7 @@
     own_load = load_tracker.local_loads.get(token)
     active_requests = own_load.active_requests if own_load else 0
     open_flows = own_load.open_flows if own_load else 0
-    peer_load = load_tracker.zone.totals.get(token)
+    peer_load = load_tracker.peer_load.totals.get(token)
     if peer_load is not None:
         active_requests += peer_load.active_requests
         open_flows += peer_load.open_flows
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -135,10 +135,10 @@
 
     def record_syn(self, header: PacketHeader, token: int, now: float) -> Flow:
         """Record that a flow's SYN packet goes to a server; return the flow."""
-        flow = self.flows.get(header.flow)
+        flow = self.flows.get(header.flow_key)
         if flow is None or flow.is_established:
-            self._remove(header.flow)
-            flow = self.flows[header.flow] = Flow(token, now)
+            self._remove(header.flow_key)
+            flow = self.flows[header.flow_key] = Flow(token, now)
             self.local_load_at(token).open_flows += 1
         elif flow.token != token:
             self._end_request(flow)
@@ -150,7 +150,7 @@
         flow.syn_forwarded_at = now
         flow.last_packet_at = now
         self._start_request(flow, now)
-        self.forwarded_syns.append((now, header.flow))
+        self.forwarded_syns.append((now, header.flow_key))
         return flow
 
     def record_unanswered_syn(self, flow: Flow, now: float) -> bool:
@@ -170,9 +170,9 @@
 
     def record_packet(self, header: PacketHeader, token: int, now: float) -> None:
         """Update the load from a packet that is not a SYN."""
-        flow = self.flows.get(header.flow)
+        flow = self.flows.get(header.flow_key)
         if flow is None:
-            flow = self.flows[header.flow] = Flow(token, now)
+            flow = self.flows[header.flow_key] = Flow(token, now)
             flow.next_sequence_number = header.sequence_number
             flow.has_sent_request = True
             self.local_load_at(token).open_flows += 1
@@ -180,7 +180,7 @@
         if not flow.is_established:
             self._establish(flow, token, header, now)
         if header.is_fin_or_rst:
-            self._remove(header.flow)
+            self._remove(header.flow_key)
             return
         if header.payload_length and _is_sequence_after(
             header.sequence_number + header.payload_length, flow.next_sequence_number
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -93,7 +93,7 @@
         token = selection.entry.record.token
         if selection.is_full:
             return PlacementAnswer(own_vm, question.flow_key, token, True, 0)
-        reservation = self.load.zone.reserve(question.sender, token, now)
+        reservation = self.load.peer_load.reserve(question.sender, token, now)
         return PlacementAnswer(
             own_vm, question.flow_key, token, False, reservation.number
         )
@@ -126,7 +126,7 @@
         route = self.routes.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header)
-        service = route.select_service(header.flow)
+        service = route.select_service(header.flow_key)
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_locally(header, service, now)
@@ -167,8 +167,8 @@
         route = self.routes.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header)
-        service = route.select_service(header.flow)
-        flow = self.load.flows.get(header.flow)
+        service = route.select_service(header.flow_key)
+        flow = self.load.flows.get(header.flow_key)
         is_retransmission = flow is not None and not flow.is_established
         is_too_soon = (
             flow is not None
@@ -189,8 +189,8 @@
         tried_tokens = (
             flow.tried_tokens if flow is not None and is_retransmission else ()
         )
-        if header.flow in self.placers.pending_requests:
-            if self.placers.is_pending(header.flow, now):
+        if header.flow_key in self.placers.pending_requests:
+            if self.placers.is_pending(header.flow_key, now):
                 return HoldForServer("asked")
             return self._place_locally(header, service, now)
         coordinator = self.placers.placer(service, now)
@@ -198,20 +198,20 @@
             return self._place_locally(header, service, now)
         if self._is_placement_paused(service, now):
             return HoldForServer("no-slot")
-        self.placers.record_request(coordinator, header.flow, now)
+        self.placers.record_request(coordinator, header.flow_key, now)
         expects_many_requests = self.load.expects_many_requests(header.route_address)
         own_vm = self.settings.vm
         return RequestPlacement(
             coordinator,
             PlacementRequest(
-                own_vm, header.flow, service, tried_tokens, expects_many_requests
+                own_vm, header.flow_key, service, tried_tokens, expects_many_requests
             ),
         )
 
     def _place_locally(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
-        flow = self.load.flows.get(header.flow)
+        flow = self.load.flows.get(header.flow_key)
         tried_tokens = (
             flow.tried_tokens if flow is not None and not flow.is_established else ()
         )
@@ -287,7 +287,7 @@
         return by_receiver
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
-        flow = self.load.flows.get(header.flow)
+        flow = self.load.flows.get(header.flow_key)
         token = header.token
         if flow is not None and flow.is_established and token in flow.tried_tokens:
             token = flow.token
@@ -303,7 +303,7 @@
             return Reset(header.ack_number, "server-ended")
         self.load.record_packet(header, token, now)
         if self._is_server_lost(header, entry.record, now):
-            self.load.remove_flow(header.flow)
+            self.load.remove_flow(header.flow_key)
             return Reset(header.ack_number, "server-silent")
         return Forward(entry.record, token)
 
@@ -317,7 +317,7 @@
         packets to it went unanswered.
         """
         if not header.payload_length or not self.load.is_server_unresponsive(
-            header.flow, now
+            header.flow_key, now
         ):
             return False
         is_zone_unreachable = record.report.zone in self.load.unreachable_zones
@@ -328,7 +328,7 @@
         )
 
     def _decide_without_route(self, header: PacketHeader) -> Decision:
-        if not self.routes.number:
+        if not self.routes.document_number:
             return HoldForServer("no-document")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
 
@@ -356,9 +356,9 @@
         report = entry.record.report
         log_decision(
             "flow-placed",
-            flow=header.flow.hex(),
+            flow=header.flow_key.hex(),
             copy=header.retransmission_count,
-            document=self.routes.number,
+            document=self.routes.document_number,
             service=report.service,
             server=report.lifetime,
             token=entry.record.token,
@@ -370,7 +370,7 @@
         local_load = self.load.local_load_at(token)
         log_decision(
             "server-unanswered",
-            flow=header.flow.hex(),
+            flow=header.flow_key.hex(),
             token=token,
             strikes=local_load.unanswered_syns,
         )
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -86,7 +86,7 @@
         deadline.
         """
         settings = self.settings
-        buffered = self.by_flow.get(header.flow)
+        buffered = self.by_flow.get(header.flow_key)
         if buffered is None and len(self.by_flow) >= settings.syn_buffer_limit:
             return False
         offset_index = min(
@@ -98,7 +98,7 @@
             if buffered
             else first_sent_at + settings.caller_syn_timeout_s
         )
-        self.by_flow[header.flow] = BufferedPacket(header, data, expires_at)
+        self.by_flow[header.flow_key] = BufferedPacket(header, data, expires_at)
         return True
 
     def due(self, now: float) -> list[BufferedPacket]:
