--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -262,7 +262,7 @@
         held = self.router.take_answer(message, now)
         if held is None:
             return []
-        decision = self.router.place_as(held.head, message, now)
+        decision = self.router.place_as(held.header, message, now)
         effects = self._release(decision, held, now)
         return effects + self._try_waiting(now)
 
@@ -289,14 +289,14 @@
         for record in records:
             for changed in self.table.merge(record, now):
                 for held in self.router.learn(changed, now):
-                    effects += self._route(held.head, held.data, now)
+                    effects += self._route(held.header, held.data, now)
         return effects
 
     def _try_waiting(self, now: float) -> list[Effect]:
         """Place the opening packets that wait, as far as there are servers now."""
         effects: list[Effect] = []
         for held in self.router.waiting.due(now):
-            decision = self.router.handle(held.head, now)
+            decision = self.router.handle(held.header, now)
             effects += self._release(decision, held, now)
         return effects
 
@@ -307,8 +307,8 @@
         if isinstance(decision, HoldForServer):
             return []
         if not isinstance(decision, RequestPlacement):
-            self.router.waiting.remove(held.head.flow_key)
-        return self._carry_out(decision, held.head, held.data, now)
+            self.router.waiting.remove(held.header.flow_key)
+        return self._carry_out(decision, held.header, held.data, now)
 
     def _share(self, now: float) -> list[Effect]:
         self.router.placers.set_peers(self.follower.peers)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -109,7 +109,7 @@
         packet = self.waiting.by_flow.get(answer.flow_key)
         if packet is None:
             return None
-        route = self.routes.routes.get(packet.head.route_address)
+        route = self.routes.routes.get(packet.header.route_address)
         service = route.select_service(answer.flow_key) if route else ServiceName("")
         if answer.is_full:
             self.last_full_at[service] = now
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -18,7 +18,7 @@
         expires_at: Time when it is dropped, in monotonic seconds.
     """
 
-    head: PacketHeader
+    header: PacketHeader
     data: bytes
     expires_at: float
 
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -413,7 +413,7 @@
     for token in (first.token, second.token):
         answer = PlacementAnswer(coordinator, header.flow, token, False, 9)
         packet = router.take_answer(answer, NOW_S)
-        assert router.place_as(packet.head, answer, NOW_S).token == token
+        assert router.place_as(packet.header, answer, NOW_S).token == token
     assert router.outgoing_reports[coordinator].used_reservation == 9
 
 
