--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -195,7 +195,7 @@
         self, decision: HoldForServer, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
         is_new = head.flow_key not in self.router.waiting.by_flow
-        if not self.router.waiting.put(head, data, now):
+        if not self.router.waiting.add(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
         elif is_new:
             self.counts[f"openings.{decision.reason}"] += 1
@@ -213,7 +213,7 @@
         self, decision: RequestPlacement, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
         self.counts["openings.asked"] += 1
-        if not self.router.waiting.put(head, data, now):
+        if not self.router.waiting.add(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
             return []
         return [Sent(decision.coordinator, decision.request)]
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -79,7 +79,7 @@
         self.settings = settings
         self.by_flow: dict[bytes, BufferedPacket] = {}
 
-    def put(self, header: PacketHeader, data: bytes, now: float) -> bool:
+    def add(self, header: PacketHeader, data: bytes, now: float) -> bool:
         """Buffer a SYN packet; return whether there was room.
 
         A retransmission replaces the SYN packet buffered for its flow and keeps its
