--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -36,7 +36,7 @@
         self.by_token: dict[int, list[BufferedPacket]] = {}
         self.count = 0
 
-    def put(self, header: PacketHeader, data: bytes, now: float) -> bool:
+    def add(self, header: PacketHeader, data: bytes, now: float) -> bool:
         """Buffer a packet if there is room; return whether to look up its token.
 
         The token is looked up only for the first packet that carries it.
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -112,8 +112,8 @@
     record = make_server_record("i-3")
     router = make_router(make_server_record("i-1"))
     header = make_data_packet(record.token)
-    assert router.held.put(header, b"one", NOW_S) is True
-    assert router.held.put(header, b"two", NOW_S) is False
+    assert router.held.add(header, b"one", NOW_S) is True
+    assert router.held.add(header, b"two", NOW_S) is False
     packets = router.learn(record, NOW_S + 0.1)
     assert [packet.data for packet in packets] == [b"one", b"two"]
     assert router.held.count == 0
@@ -121,7 +121,7 @@
 
 def test_buffered_packets_expire():
     router = make_router()
-    router.held.put(make_data_packet(77), b"one", NOW_S)
+    router.held.add(make_data_packet(77), b"one", NOW_S)
     router.sweep(NOW_S + 1.4)
     assert router.held.count == 1
     router.sweep(NOW_S + 1.6)
