Rename sequence to sequence_number

Usual term of TCP-like protocols.

Rename: libs/tokens/src/kumquatmux_tokens/packets.py sequence sequence_number

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -172,7 +172,7 @@
             token=head.token,
             document=self.router.routes.document_number,
         )
-        reset = self.format.reset_for(data, decision.sequence)
+        reset = self.format.reset_for(data, decision.sequence_number)
         target = (self.format.caller_ip(data), self.settings.packets.port)
         return [Datagram(reset, target)]
 
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -57,7 +57,7 @@
         reason: Reason code for logs and metrics.
     """
 
-    sequence: int
+    sequence_number: int
     reason: str
 
 
