Rename due to unexpired_packets

Returns the packets that have not expired.

Rename: libs/tokens/src/kumquatmux_tokens/waiting.py due unexpired_packets

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -295,7 +295,7 @@
     def _try_waiting(self, now: float) -> list[Effect]:
         """Place the opening packets that wait, as far as there are servers now."""
         effects: list[Effect] = []
-        for held in self.router.waiting.due(now):
+        for held in self.router.waiting.unexpired_packets(now):
             decision = self.router.handle(held.header, now)
             effects += self._release(decision, held, now)
         return effects
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -101,7 +101,7 @@
         self.by_flow[header.flow_key] = BufferedPacket(header, data, expires_at)
         return True
 
-    def due(self, now: float) -> list[BufferedPacket]:
+    def unexpired_packets(self, now: float) -> list[BufferedPacket]:
         """Drop packets whose callers no longer wait; return the other packets."""
         for flow_key, packet in list(self.by_flow.items()):
             if packet.expires_at <= now:
--- a/libs/tokens/tests/test_waiting.py
+++ b/libs/tokens/tests/test_waiting.py
@@ -21,15 +21,15 @@
 def test_syn_is_buffered_until_its_caller_times_out(retransmission_count, remaining_s):
     syn_buffer = SynBuffer(SETTINGS)
     syn_buffer.add(make_syn(retransmission_count), b"", 10.0)
-    assert len(syn_buffer.due(10.0 + remaining_s - 0.01)) == 1
-    assert syn_buffer.due(10.0 + remaining_s + 0.01) == []
+    assert len(syn_buffer.unexpired_packets(10.0 + remaining_s - 0.01)) == 1
+    assert syn_buffer.unexpired_packets(10.0 + remaining_s + 0.01) == []
 
 
 def test_retransmission_does_not_extend_the_deadline():
     syn_buffer = SynBuffer(SETTINGS)
     syn_buffer.add(make_syn(0), b"", 10.0)
     syn_buffer.add(make_syn(2), b"", 11.3)
-    assert syn_buffer.due(11.5) == []
+    assert syn_buffer.unexpired_packets(11.5) == []
 
 
 def test_full_buffer_rejects_syns_of_further_flows():
@@ -44,4 +44,4 @@
     syn_buffer = SynBuffer(SETTINGS)
     syn_buffer.add(make_syn(), b"", 0.0)
     syn_buffer.remove(b"f")
-    assert syn_buffer.due(0.1) == []
+    assert syn_buffer.unexpired_packets(0.1) == []
