Rename held to token_buffer

Buffers packets during a token lookup.

Rename: libs/tokens/src/kumquatmux_tokens/router.py held token_buffer

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -223,7 +223,7 @@
         self, decision: HoldForToken, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
         self.counts["packets.held"] += 1
-        if not self.router.held.add(head, data, now):
+        if not self.router.token_buffer.add(head, data, now):
             return []
         log_decision("token-asked", token=decision.token, flow=head.flow_key.hex())
         question = TokenQuestion(self.settings.vm, decision.token)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -60,7 +60,7 @@
         self.directory = ServerDirectory()
         self.routes = RouteTable()
         self.load = LoadTracker(settings)
-        self.held = TokenLookupBuffer(settings)
+        self.token_buffer = TokenLookupBuffer(settings)
         self.waiting = SynBuffer(settings)
         self.placers = CoordinatorSelector(settings)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
@@ -81,7 +81,7 @@
     def learn(self, record: ServerRecord, now: float) -> list[BufferedPacket]:
         """Store a server's record; return the packets buffered for its token."""
         self.directory.store_record(record, now)
-        return self.held.pop_packets(record.token)
+        return self.token_buffer.pop_packets(record.token)
 
     def place_for(self, question: PlacementRequest, now: float) -> PlacementAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
@@ -160,7 +160,7 @@
         """Remove expired flows, servers, buffered packets and placement requests."""
         self.load.remove_expired(now)
         self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
-        self.held.remove_expired(now)
+        self.token_buffer.remove_expired(now)
         self.placers.remove_expired(now)
 
     def _route_syn(self, header: PacketHeader, now: float) -> Decision:
