--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -194,8 +194,8 @@
     def _(
         self, decision: HoldForServer, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
-        is_new = head.flow_key not in self.router.waiting.by_flow
-        if not self.router.waiting.add(head, data, now):
+        is_new = head.flow_key not in self.router.syn_buffer.by_flow
+        if not self.router.syn_buffer.add(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
         elif is_new:
             self.counts[f"openings.{decision.reason}"] += 1
@@ -213,7 +213,7 @@
         self, decision: RequestPlacement, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
         self.counts["openings.asked"] += 1
-        if not self.router.waiting.add(head, data, now):
+        if not self.router.syn_buffer.add(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
             return []
         return [Sent(decision.coordinator, decision.request)]
@@ -295,7 +295,7 @@
     def _try_waiting(self, now: float) -> list[Effect]:
         """Place the opening packets that wait, as far as there are servers now."""
         effects: list[Effect] = []
-        for held in self.router.waiting.unexpired_packets(now):
+        for held in self.router.syn_buffer.unexpired_packets(now):
             decision = self.router.handle(held.header, now)
             effects += self._release(decision, held, now)
         return effects
@@ -307,7 +307,7 @@
         if isinstance(decision, HoldForServer):
             return []
         if not isinstance(decision, RequestPlacement):
-            self.router.waiting.remove(held.header.flow_key)
+            self.router.syn_buffer.remove(held.header.flow_key)
         return self._carry_out(decision, held.header, held.data, now)
 
     def _share(self, now: float) -> list[Effect]:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -61,7 +61,7 @@
         self.routes = RouteTable()
         self.load = LoadTracker(settings)
         self.token_buffer = TokenLookupBuffer(settings)
-        self.waiting = SynBuffer(settings)
+        self.syn_buffer = SynBuffer(settings)
         self.placers = CoordinatorSelector(settings)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
@@ -106,7 +106,7 @@
             server is full.
         """
         self.placers.record_answer(answer.sender, answer.flow_key)
-        packet = self.waiting.by_flow.get(answer.flow_key)
+        packet = self.syn_buffer.by_flow.get(answer.flow_key)
         if packet is None:
             return None
         route = self.routes.routes.get(packet.header.route_address)
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -409,7 +409,7 @@
     router, coordinator = make_router_with_other_coordinator(first, second)
     header = make_syn()
     router.handle(header, NOW_S)
-    router.waiting.add(header, b"one", NOW_S)
+    router.syn_buffer.add(header, b"one", NOW_S)
     for token in (first.token, second.token):
         answer = PlacementAnswer(coordinator, header.flow, token, False, 9)
         packet = router.take_answer(answer, NOW_S)
@@ -433,7 +433,7 @@
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
     router.handle(header, NOW_S)
-    router.waiting.add(header, b"one", NOW_S)
+    router.syn_buffer.add(header, b"one", NOW_S)
     full_answer = PlacementAnswer(
         coordinator, header.flow, make_server_record("i-1").token, True, 0
     )
