Rename placers to coordinators

Selects placement coordinators.

Rename: libs/tokens/src/kumquatmux_tokens/router.py placers coordinators

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -62,7 +62,7 @@
         self.load = LoadTracker(settings)
         self.token_buffer = TokenLookupBuffer(settings)
         self.syn_buffer = SynBuffer(settings)
-        self.placers = CoordinatorSelector(settings)
+        self.coordinators = CoordinatorSelector(settings)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
         self.last_served_at: dict[ServiceName, float] = {}
@@ -105,7 +105,7 @@
             The buffered SYN packet to forward now, None if there is none or every
             server is full.
         """
-        self.placers.record_answer(answer.sender, answer.flow_key)
+        self.coordinators.record_answer(answer.sender, answer.flow_key)
         packet = self.syn_buffer.by_flow.get(answer.flow_key)
         if packet is None:
             return None
@@ -141,7 +141,7 @@
         loads_by_receiver = self._loads_by_receiver(now)
         due_reports = []
         for vm in loads_by_receiver.keys() | self.outgoing_reports.keys():
-            if vm not in self.placers.entry_vms:
+            if vm not in self.coordinators.entry_vms:
                 self.outgoing_reports.pop(vm, None)
                 continue
             load_report = self._reports_to(vm).next_report(
@@ -161,7 +161,7 @@
         self.load.remove_expired(now)
         self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
         self.token_buffer.remove_expired(now)
-        self.placers.remove_expired(now)
+        self.coordinators.remove_expired(now)
 
     def _route_syn(self, header: PacketHeader, now: float) -> Decision:
         route = self.routes.routes.get(header.route_address)
@@ -189,16 +189,16 @@
         tried_tokens = (
             flow.tried_tokens if flow is not None and is_retransmission else ()
         )
-        if header.flow_key in self.placers.pending_requests:
-            if self.placers.is_pending(header.flow_key, now):
+        if header.flow_key in self.coordinators.pending_requests:
+            if self.coordinators.is_pending(header.flow_key, now):
                 return HoldForServer("asked")
             return self._place_locally(header, service, now)
-        coordinator = self.placers.placer(service, now)
+        coordinator = self.coordinators.placer(service, now)
         if coordinator == self.settings.vm:
             return self._place_locally(header, service, now)
         if self._is_placement_paused(service, now):
             return HoldForServer("no-slot")
-        self.placers.record_request(coordinator, header.flow_key, now)
+        self.coordinators.record_request(coordinator, header.flow_key, now)
         expects_many_requests = self.load.expects_many_requests(header.route_address)
         own_vm = self.settings.vm
         return RequestPlacement(
@@ -248,7 +248,7 @@
         is_limited = since_full_s < self.settings.limited_placement_s
         return (
             is_limited
-            and len(self.placers.pending_requests)
+            and len(self.coordinators.pending_requests)
             >= self.settings.limited_placement_requests
         )
 
@@ -273,7 +273,7 @@
         server is reported only to the placement coordinator of its service.
         """
         loads = self.load.reportable_loads(now)
-        receivers = [vm for vm in self.placers.entry_vms if vm != self.settings.vm]
+        receivers = [vm for vm in self.coordinators.entry_vms if vm != self.settings.vm]
         if len(receivers) < self.settings.full_reporting_max_vms:
             return {vm: loads for vm in receivers}
         by_receiver: dict[VmId, list[ServerLoad]] = {}
@@ -281,7 +281,7 @@
             entry = self.directory.by_token.get(server_load.token)
             if entry is None:
                 continue
-            coordinator = self.placers.placer(entry.record.report.service, now)
+            coordinator = self.coordinators.placer(entry.record.report.service, now)
             if coordinator != self.settings.vm:
                 by_receiver.setdefault(coordinator, []).append(server_load)
         return by_receiver
