Rename handle to route_packet

Names the operation and its object.

Rename: libs/tokens/src/kumquatmux_tokens/router.py handle route_packet

--- a/libs/lab/src/kumquatmux_lab/benches/tokens.py
+++ b/libs/lab/src/kumquatmux_lab/benches/tokens.py
@@ -88,19 +88,19 @@
     tokens = list(router.directory.by_token)
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     for number in range(open_flows):
-        router.handle(_data(number, tokens, 101, 9), 1.0)
+        router.route_packet(_data(number, tokens, 101, 9), 1.0)
     grown = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
     numbers = [random.randrange(open_flows) for _ in range(PACKETS)]
     heads = [_data(number, tokens, 101, 0) for number in numbers]
     began = time.process_time()
     for head in heads:
-        decision = router.handle(head, 1.1)
+        decision = router.route_packet(head, 1.1)
         assert isinstance(decision, Forward)
     packets_s = time.process_time() - began
     openings = [_opening(open_flows + number) for number in range(NEW_FLOWS)]
     began = time.process_time()
     for head in openings:
-        router.handle(head, 1.2)
+        router.route_packet(head, 1.2)
     new_flows_s = time.process_time() - began
     answer, with_record = _answer(()), _answer((record(1),))
     return TokenCosts(
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -68,7 +68,7 @@
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
 
-    def handle(self, header: PacketHeader, now: float) -> Decision:
+    def route_packet(self, header: PacketHeader, now: float) -> Decision:
         """Return the decision for a packet."""
         if header.is_syn:
             return self._route_syn(header, now)
