--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -282,7 +282,7 @@
         if routes.is_error():
             log_decision("document-unread", problem=routes.error)
             return
-        self.router.install(routes.ok, now)
+        self.router.install_routes(routes.ok, now)
 
     def _merge(self, records: tuple[ServerRecord, ...], now: float) -> list[Effect]:
         effects: list[Effect] = []
--- a/libs/lab/src/kumquatmux_lab/benches/tokens.py
+++ b/libs/lab/src/kumquatmux_lab/benches/tokens.py
@@ -82,7 +82,7 @@
         0.0,
     )
     route = Route("r", ROUTE, (WeightedService(SERVICE, 1),))
-    router.install(RouteSet(1, (route,), frozenset({SERVICE}), 15.0), 0.0)
+    router.install_routes(RouteSet(1, (route,), frozenset({SERVICE}), 15.0), 0.0)
     for number in range(servers):
         router.learn(record(number), 0.0)
     tokens = list(router.directory.by_token)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -74,7 +74,7 @@
             return self._route_syn(header, now)
         return self._route_by_token(header, now)
 
-    def install(self, routes: RouteSet, now: float) -> bool:
+    def install_routes(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
         return self.routes.install(routes, now)
 
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -82,7 +82,7 @@
 
 def make_router(*servers, now=0.0, number=1):
     router = TokenRouter(TokenRouterSettings("e1", "a"), Random(1), now)
-    router.install(make_route_set(number), now)
+    router.install_routes(make_route_set(number), now)
     for record in servers:
         router.learn(record, now)
     return router
@@ -182,7 +182,7 @@
 def test_open_flows_of_a_removed_route_are_reset_after_the_grace_period():
     record = make_server_record("i-1")
     router = make_router(record)
-    router.install(make_route_set(2, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
+    router.install_routes(make_route_set(2, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
     assert router.handle(make_syn(), NOW_S) == Reset(0, "no-route")
     assert isinstance(
         router.handle(make_data_packet(record.token), NOW_S + 5.0), Forward
@@ -195,7 +195,7 @@
 def test_document_with_a_lower_number_is_ignored():
     router = make_router(make_server_record("i-1"), number=5)
     assert (
-        router.install(make_route_set(4, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
+        router.install_routes(make_route_set(4, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
         is False
     )
     assert isinstance(router.handle(make_syn(), NOW_S), Forward)
