Rename learn to store_record

Names the operation and its object.

Rename: libs/tokens/src/kumquatmux_tokens/router.py learn store_record

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -288,7 +288,7 @@
         effects: list[Effect] = []
         for record in records:
             for changed in self.table.merge(record, now):
-                for held in self.router.learn(changed, now):
+                for held in self.router.store_record(changed, now):
                     effects += self._route(held.header, held.data, now)
         return effects
 
--- a/libs/lab/src/kumquatmux_lab/benches/tokens.py
+++ b/libs/lab/src/kumquatmux_lab/benches/tokens.py
@@ -84,7 +84,7 @@
     route = Route("r", ROUTE, (WeightedService(SERVICE, 1),))
     router.install_routes(RouteSet(1, (route,), frozenset({SERVICE}), 15.0), 0.0)
     for number in range(servers):
-        router.learn(record(number), 0.0)
+        router.store_record(record(number), 0.0)
     tokens = list(router.directory.by_token)
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     for number in range(open_flows):
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -78,7 +78,7 @@
         """Install the routes of a newer document; return whether it was newer."""
         return self.routes.install(routes, now)
 
-    def learn(self, record: ServerRecord, now: float) -> list[BufferedPacket]:
+    def store_record(self, record: ServerRecord, now: float) -> list[BufferedPacket]:
         """Store a server's record; return the packets buffered for its token."""
         self.directory.store_record(record, now)
         return self.token_buffer.pop_packets(record.token)
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -84,7 +84,7 @@
     router = TokenRouter(TokenRouterSettings("e1", "a"), Random(1), now)
     router.install_routes(make_route_set(number), now)
     for record in servers:
-        router.learn(record, now)
+        router.store_record(record, now)
     return router
 
 
@@ -114,7 +114,7 @@
     header = make_data_packet(record.token)
     assert router.held.add(header, b"one", NOW_S) is True
     assert router.held.add(header, b"two", NOW_S) is False
-    packets = router.learn(record, NOW_S + 0.1)
+    packets = router.store_record(record, NOW_S + 0.1)
     assert [packet.data for packet in packets] == [b"one", b"two"]
     assert router.held.count == 0
 
@@ -159,7 +159,7 @@
 def test_flows_of_an_ended_server_are_reset_after_the_grace_period():
     router = make_router(make_server_record("i-1"))
     ended = make_server_record("i-1", number=2, phase=Phase.ENDED)
-    router.learn(ended, NOW_S)
+    router.store_record(ended, NOW_S)
     token = ended.token
     assert isinstance(router.handle(make_data_packet(token), NOW_S + 0.5), Forward)
     assert router.handle(
@@ -173,7 +173,7 @@
         make_server_record("i-1", born_ms=2),
     )
     router = make_router(previous)
-    router.learn(current, NOW_S)
+    router.store_record(current, NOW_S)
     later = NOW_S + 1.1
     assert isinstance(router.handle(make_data_packet(previous.token), later), Reset)
     assert router.handle(make_data_packet(current.token), later).server == current
@@ -251,8 +251,8 @@
 def test_servers_with_colliding_tokens_get_no_new_flow(monkeypatch):
     router = make_router(make_server_record("i-1"))
     monkeypatch.setattr(Lifetime, "token", property(lambda self: 5))
-    router.learn(make_server_record("i-2"), 0.0)
-    router.learn(make_server_record("i-3"), 0.0)
+    router.store_record(make_server_record("i-2"), 0.0)
+    router.store_record(make_server_record("i-3"), 0.0)
     router.directory.by_service["entries"] = {
         token: entry
         for token, entry in router.directory.by_service["entries"].items()
