--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -255,7 +255,9 @@
 
     @_take.register
     def _(self, message: PlacementRequest, now: float) -> list[Effect]:
-        return [Sent(message.sender, self.router.place_for(message, now))]
+        return [
+            Sent(message.sender, self.router.answer_placement_request(message, now))
+        ]
 
     @_take.register
     def _(self, message: PlacementAnswer, now: float) -> list[Effect]:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -83,7 +83,9 @@
         self.directory.store_record(record, now)
         return self.token_buffer.pop_packets(record.token)
 
-    def place_for(self, question: PlacementRequest, now: float) -> PlacementAnswer:
+    def answer_placement_request(
+        self, question: PlacementRequest, now: float
+    ) -> PlacementAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
         new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
         selection = self._select_server(question.service, new_flow)
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -456,7 +456,7 @@
     for caller in range(2):
         flow_key = make_flow_key(caller, ROUTE_ADDRESS)
         request = PlacementRequest("e2", flow_key, "entries", (), False)
-        selected_tokens.add(router.place_for(request, NOW_S).token)
+        selected_tokens.add(router.answer_placement_request(request, NOW_S).token)
     assert selected_tokens == {first.token, second.token}
 
 
@@ -464,7 +464,7 @@
     request = PlacementRequest(
         "e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False
     )
-    answer = make_router().place_for(request, NOW_S)
+    answer = make_router().answer_placement_request(request, NOW_S)
     assert (answer.token, answer.reservation_number) == (0, 0)
 
 
