--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -261,7 +261,7 @@
 
     @_take.register
     def _(self, message: PlacementAnswer, now: float) -> list[Effect]:
-        held = self.router.take_answer(message, now)
+        held = self.router.process_placement_answer(message, now)
         if held is None:
             return []
         decision = self.router.place_as(held.header, message, now)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -100,7 +100,9 @@
             own_vm, question.flow_key, token, False, reservation.number
         )
 
-    def take_answer(self, answer: PlacementAnswer, now: float) -> BufferedPacket | None:
+    def process_placement_answer(
+        self, answer: PlacementAnswer, now: float
+    ) -> BufferedPacket | None:
         """Process the answer to a placement request.
 
         Returns:
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -412,7 +412,7 @@
     router.syn_buffer.add(header, b"one", NOW_S)
     for token in (first.token, second.token):
         answer = PlacementAnswer(coordinator, header.flow, token, False, 9)
-        packet = router.take_answer(answer, NOW_S)
+        packet = router.process_placement_answer(answer, NOW_S)
         assert router.place_as(packet.header, answer, NOW_S).token == token
     assert router.outgoing_reports[coordinator].used_reservation == 9
 
@@ -437,7 +437,7 @@
     full_answer = PlacementAnswer(
         coordinator, header.flow, make_server_record("i-1").token, True, 0
     )
-    assert router.take_answer(full_answer, NOW_S) is None
+    assert router.process_placement_answer(full_answer, NOW_S) is None
     assert isinstance(router.handle(header, NOW_S + 0.05), RequestPlacement)
 
 
