Rename place_as to apply_placement_answer

Applies the answer to a placement request.

Rename: libs/tokens/src/kumquatmux_tokens/router.py place_as apply_placement_answer

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -264,7 +264,7 @@
         held = self.router.process_placement_answer(message, now)
         if held is None:
             return []
-        decision = self.router.place_as(held.header, message, now)
+        decision = self.router.apply_placement_answer(held.header, message, now)
         effects = self._release(decision, held, now)
         return effects + self._try_waiting(now)
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -120,7 +120,7 @@
             return None
         return packet
 
-    def place_as(
+    def apply_placement_answer(
         self, header: PacketHeader, answer: PlacementAnswer, now: float
     ) -> Decision:
         """Return the decision for a SYN packet whose server another VM selected.
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -413,7 +413,9 @@
     for token in (first.token, second.token):
         answer = PlacementAnswer(coordinator, header.flow, token, False, 9)
         packet = router.process_placement_answer(answer, NOW_S)
-        assert router.place_as(packet.header, answer, NOW_S).token == token
+        assert (
+            router.apply_placement_answer(packet.header, answer, NOW_S).token == token
+        )
     assert router.outgoing_reports[coordinator].used_reservation == 9
 
 
@@ -425,7 +427,7 @@
     )
     for token in (draining.token, other.token, 77, 0):
         answer = PlacementAnswer(coordinator, make_syn().flow, token, False, 1)
-        decision = router.place_as(make_syn(), answer, NOW_S)
+        decision = router.apply_placement_answer(make_syn(), answer, NOW_S)
         assert decision.server == make_server_record("i-1")
 
 
