--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -314,7 +314,7 @@
 
     def _share(self, now: float) -> list[Effect]:
         self.router.coordinators.set_peers(self.follower.peers)
-        return [Sent(vm, share) for vm, share in self.router.tell(now)]
+        return [Sent(vm, share) for vm, share in self.router.due_load_reports(now)]
 
     def _note_zones(self, now: float) -> None:
         silent = self.follower.silent_zones(now) - {self.settings.zone}
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -140,7 +140,7 @@
         self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
-    def tell(self, now: float) -> list[tuple[VmId, LoadReport]]:
+    def due_load_reports(self, now: float) -> list[tuple[VmId, LoadReport]]:
         """Return the load reports that are due, each with its receiver."""
         loads_by_receiver = self._loads_by_receiver(now)
         due_reports = []
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -474,8 +474,8 @@
     router = make_router(make_server_record("i-1"))
     router.coordinators.set_peers(tuple(f"e{number}" for number in range(1, 24)))
     router.handle(make_data_packet(make_server_record("i-1").token), NOW_S)
-    receivers = [vm for vm, _ in router.tell(NOW_S)]
+    receivers = [vm for vm, _ in router.due_load_reports(NOW_S)]
     coordinator = router.coordinators.placer("entries", NOW_S)
     assert receivers == [coordinator]
     router.coordinators.set_peers(("e1", "e2", "e3"))
-    assert sorted(vm for vm, _ in router.tell(NOW_S + 1.0)) == ["e2", "e3"]
+    assert sorted(vm for vm, _ in router.due_load_reports(NOW_S + 1.0)) == ["e2", "e3"]
