--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -126,7 +126,7 @@
         effects: list[Effect] = []
         if now >= self.sweep_at:
             self.sweep_at = now + POLL_S
-            self.router.sweep(now)
+            self.router.remove_expired(now)
             self._note_feed(now)
             self._note_zones(now)
         if now >= self.poll_at:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -160,7 +160,7 @@
                 due_reports.append((vm, load_report))
         return due_reports
 
-    def sweep(self, now: float) -> None:
+    def remove_expired(self, now: float) -> None:
         """Remove expired flows, servers, buffered packets and placement requests."""
         self.load.remove_expired(now)
         self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -122,9 +122,9 @@
 def test_buffered_packets_expire():
     router = make_router()
     router.held.add(make_data_packet(77), b"one", NOW_S)
-    router.sweep(NOW_S + 1.4)
+    router.remove_expired(NOW_S + 1.4)
     assert router.held.count == 1
-    router.sweep(NOW_S + 1.6)
+    router.remove_expired(NOW_S + 1.6)
     assert router.held.count == 0
 
 
