--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -313,7 +313,7 @@
         return self._carry_out(decision, held.header, held.data, now)
 
     def _share(self, now: float) -> list[Effect]:
-        self.router.coordinators.set_peers(self.follower.peers)
+        self.router.coordinators.set_entry_vms(self.follower.peers)
         return [Sent(vm, share) for vm, share in self.router.due_load_reports(now)]
 
     def _note_zones(self, now: float) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -95,7 +95,7 @@
         self.backoffs: dict[VmId, Backoff] = {}
         self.pending_requests: dict[bytes, PendingRequest] = {}
 
-    def set_peers(self, entry_vms: tuple[VmId, ...]) -> None:
+    def set_entry_vms(self, entry_vms: tuple[VmId, ...]) -> None:
         """Set the entry VMs of the zone."""
         if entry_vms != self.entry_vms:
             self.entry_vms = entry_vms
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -12,7 +12,7 @@
 @pytest.fixture
 def coordinators():
     selector = CoordinatorSelector(TokenRouterSettings("e1", "a"))
-    selector.set_peers(ENTRY_VMS)
+    selector.set_entry_vms(ENTRY_VMS)
     return selector
 
 
@@ -29,7 +29,7 @@
         selected_vms = set()
         for vm in ENTRY_VMS:
             selector = CoordinatorSelector(TokenRouterSettings(vm, "a"))
-            selector.set_peers(ENTRY_VMS)
+            selector.set_entry_vms(ENTRY_VMS)
             selected_vms.add(selector.placer(service, 0.0))
         assert len(selected_vms) == 1
 
