--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -101,7 +101,7 @@
             self.entry_vms = entry_vms
             self.rankings.clear()
 
-    def placer(self, service: ServiceName, now: float) -> VmId:
+    def coordinator_for(self, service: ServiceName, now: float) -> VmId:
         """Return the placement coordinator of a service.
 
         A VM that recently left a request unanswered is skipped; this VM never is.
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -197,7 +197,7 @@
             if self.coordinators.is_pending(header.flow_key, now):
                 return HoldForServer("asked")
             return self._place_locally(header, service, now)
-        coordinator = self.coordinators.placer(service, now)
+        coordinator = self.coordinators.coordinator_for(service, now)
         if coordinator == self.settings.vm:
             return self._place_locally(header, service, now)
         if self._is_placement_paused(service, now):
@@ -285,7 +285,9 @@
             entry = self.directory.by_token.get(server_load.token)
             if entry is None:
                 continue
-            coordinator = self.coordinators.placer(entry.record.report.service, now)
+            coordinator = self.coordinators.coordinator_for(
+                entry.record.report.service, now
+            )
             if coordinator != self.settings.vm:
                 by_receiver.setdefault(coordinator, []).append(server_load)
         return by_receiver
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -20,7 +20,9 @@
     """Return a service whose placement coordinator is another VM."""
     service_names = (f"service-{number}" for number in range(99))
     return next(
-        name for name in service_names if coordinators.placer(name, 0.0) != "e1"
+        name
+        for name in service_names
+        if coordinators.coordinator_for(name, 0.0) != "e1"
     )
 
 
@@ -30,13 +32,15 @@
         for vm in ENTRY_VMS:
             selector = CoordinatorSelector(TokenRouterSettings(vm, "a"))
             selector.set_entry_vms(ENTRY_VMS)
-            selected_vms.add(selector.placer(service, 0.0))
+            selected_vms.add(selector.coordinator_for(service, 0.0))
         assert len(selected_vms) == 1
 
 
 def test_vm_without_peers_is_its_own_coordinator():
     assert (
-        CoordinatorSelector(TokenRouterSettings("e1", "a")).placer("entries", 0.0)
+        CoordinatorSelector(TokenRouterSettings("e1", "a")).coordinator_for(
+            "entries", 0.0
+        )
         == "e1"
     )
 
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -391,7 +391,7 @@
     router = make_router(*servers)
     for entry_vms in (("e1", "e2"), ("e1", "e3"), ("e1", "e4"), ("e1", "e5")):
         router.coordinators.set_entry_vms(entry_vms)
-        coordinator = router.coordinators.placer("entries", 0.0)
+        coordinator = router.coordinators.coordinator_for("entries", 0.0)
         if coordinator != "e1":
             return router, coordinator
     raise AssertionError("this VM is the placement coordinator in every zone")
@@ -475,7 +475,7 @@
     router.coordinators.set_entry_vms(tuple(f"e{number}" for number in range(1, 24)))
     router.handle(make_data_packet(make_server_record("i-1").token), NOW_S)
     receivers = [vm for vm, _ in router.due_load_reports(NOW_S)]
-    coordinator = router.coordinators.placer("entries", NOW_S)
+    coordinator = router.coordinators.coordinator_for("entries", NOW_S)
     assert receivers == [coordinator]
     router.coordinators.set_entry_vms(("e1", "e2", "e3"))
     assert sorted(vm for vm, _ in router.due_load_reports(NOW_S + 1.0)) == ["e2", "e3"]
