Rename number to document_number

Number of the document (RouteSet.number; also used in tests/adapter/test_manifest.py, untyped).

Rename: libs/tokens/src/kumquatmux_tokens/routes.py number document_number

--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -59,7 +59,7 @@
         idle_s: Idle time in seconds after which a flow may be dropped.
     """
 
-    number: int
+    document_number: int
     routes: tuple[Route, ...]
     services: frozenset[ServiceName]
     idle_timeout_s: float
@@ -83,10 +83,10 @@
 
     def install(self, route_set: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        if route_set.number <= self.document_number:
+        if route_set.document_number <= self.document_number:
             return False
         previous_routes = self.routes
-        self.document_number = route_set.number
+        self.document_number = route_set.document_number
         self.routes = {route.address: route for route in route_set.routes}
         for address in previous_routes.keys() - self.routes.keys():
             self.removed_at[address] = now
