--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -142,7 +142,7 @@
         return [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
 
     def _route(self, head: PacketHeader, data: bytes, now: float) -> list[Effect]:
-        decision = self.router.handle(head, now)
+        decision = self.router.route_packet(head, now)
         return self._carry_out(decision, head, data, now)
 
     @singledispatchmethod
@@ -298,7 +298,7 @@
         """Place the opening packets that wait, as far as there are servers now."""
         effects: list[Effect] = []
         for held in self.router.syn_buffer.unexpired_packets(now):
-            decision = self.router.handle(held.header, now)
+            decision = self.router.route_packet(held.header, now)
             effects += self._release(decision, held, now)
         return effects
 
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -117,7 +117,7 @@
             "document": float(core.router.routes.document_number),
             "servers": float(len(core.router.directory.by_token)),
             "flows": float(len(core.router.load.flows)),
-            "held": float(core.router.held.count),
+            "held": float(core.router.token_buffer.count),
             "lines_dropped": float(sum(lines.dropped.values())),
         }
         text = metrics_text.render(counts, gauges, core.router.load.latencies)
