Rename shares to weighted_services

Holds services with weights (Route.weighted_services).

Rename: libs/tokens/src/kumquatmux_tokens/routes.py shares weighted_services

--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -32,7 +32,7 @@
 
     name: str
     address: Address
-    shares: tuple[WeightedService, ...]
+    weighted_services: tuple[WeightedService, ...]
 
     def select_service(self, flow_key: bytes) -> ServiceName:
         """Return the service of a flow, which is the same for every SYN of the flow.
@@ -40,9 +40,9 @@
         Raises:
             AssertionError: No service has a weight above 0.
         """
-        total_weight = sum(share.weight for share in self.shares)
+        total_weight = sum(share.weight for share in self.weighted_services)
         hash_point = xxhash.xxh3_64_intdigest(flow_key) % total_weight
-        for share in self.shares:
+        for share in self.weighted_services:
             if hash_point < share.weight:
                 return share.service
             hash_point -= share.weight
