Rename load to load_tracker

The attribute holds a load tracker.

Rename: libs/tokens/src/kumquatmux_tokens/router.py load load_tracker

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -250,7 +250,7 @@
 
     @_take.register
     def _(self, message: LoadReport, now: float) -> list[Effect]:
-        self.router.load.peer_load.apply_report(message, now)
+        self.router.load_tracker.peer_load.apply_report(message, now)
         return []
 
     @_take.register
@@ -318,9 +318,9 @@
 
     def _note_zones(self, now: float) -> None:
         silent = self.follower.silent_zones(now) - {self.settings.zone}
-        if silent != self.router.load.unreachable_zones:
+        if silent != self.router.load_tracker.unreachable_zones:
             log_decision("zones-silent", zones=",".join(sorted(silent)))
-        self.router.load.unreachable_zones = silent
+        self.router.load_tracker.unreachable_zones = silent
 
     def _note_feed(self, now: float) -> None:
         is_fed = self.follower.is_fed(now)
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -116,11 +116,11 @@
         gauges = {
             "document": float(core.router.routes.document_number),
             "servers": float(len(core.router.directory.by_token)),
-            "flows": float(len(core.router.load.flows)),
+            "flows": float(len(core.router.load_tracker.flows)),
             "held": float(core.router.token_buffer.count),
             "lines_dropped": float(sum(lines.dropped.values())),
         }
-        text = metrics_text.render(counts, gauges, core.router.load.latencies)
+        text = metrics_text.render(counts, gauges, core.router.load_tracker.latencies)
         return HttpAnswer(200, text, "text/plain")
 
     return handle
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -59,7 +59,7 @@
         self.started_at = now
         self.directory = ServerDirectory()
         self.routes = RouteTable()
-        self.load = LoadTracker(settings)
+        self.load_tracker = LoadTracker(settings)
         self.token_buffer = TokenLookupBuffer(settings)
         self.syn_buffer = SynBuffer(settings)
         self.coordinators = CoordinatorSelector(settings)
@@ -95,7 +95,7 @@
         token = selection.entry.record.token
         if selection.is_full:
             return PlacementAnswer(own_vm, question.flow_key, token, True, 0)
-        reservation = self.load.peer_load.reserve(question.sender, token, now)
+        reservation = self.load_tracker.peer_load.reserve(question.sender, token, now)
         return PlacementAnswer(
             own_vm, question.flow_key, token, False, reservation.number
         )
@@ -136,7 +136,7 @@
             return self._place_locally(header, service, now)
         self._reports_to(answer.sender).used_reservation = answer.reservation_number
         self.last_served_at[service] = now
-        self.load.record_syn(header, answer.token, now)
+        self.load_tracker.record_syn(header, answer.token, now)
         self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
@@ -162,7 +162,7 @@
 
     def remove_expired(self, now: float) -> None:
         """Remove expired flows, servers, buffered packets and placement requests."""
-        self.load.remove_expired(now)
+        self.load_tracker.remove_expired(now)
         self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
         self.token_buffer.remove_expired(now)
         self.coordinators.remove_expired(now)
@@ -172,7 +172,7 @@
         if route is None:
             return self._decide_without_route(header)
         service = route.select_service(header.flow_key)
-        flow = self.load.flows.get(header.flow_key)
+        flow = self.load_tracker.flows.get(header.flow_key)
         is_retransmission = flow is not None and not flow.is_established
         is_too_soon = (
             flow is not None
@@ -184,7 +184,7 @@
             and header.retransmission_count
             and not is_too_soon
         ):
-            if self.load.record_unanswered_syn(flow, now):
+            if self.load_tracker.record_unanswered_syn(flow, now):
                 self._log_unanswered_syn(header, flow.token)
         elif flow is not None and is_retransmission:
             entry = self.directory.by_token.get(flow.token)
@@ -203,7 +203,9 @@
         if self._is_placement_paused(service, now):
             return HoldForServer("no-slot")
         self.coordinators.record_request(coordinator, header.flow_key, now)
-        expects_many_requests = self.load.expects_many_requests(header.route_address)
+        expects_many_requests = self.load_tracker.expects_many_requests(
+            header.route_address
+        )
         own_vm = self.settings.vm
         return RequestPlacement(
             coordinator,
@@ -215,12 +217,14 @@
     def _place_locally(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
-        flow = self.load.flows.get(header.flow_key)
+        flow = self.load_tracker.flows.get(header.flow_key)
         tried_tokens = (
             flow.tried_tokens if flow is not None and not flow.is_established else ()
         )
         new_flow = NewFlow(
-            tried_tokens, self.load.expects_many_requests(header.route_address), now
+            tried_tokens,
+            self.load_tracker.expects_many_requests(header.route_address),
+            now,
         )
         selection = self._select_server(service, new_flow)
         if selection is None:
@@ -229,7 +233,7 @@
         if selection.is_full:
             return HoldForServer("no-slot")
         token = selection.entry.record.token
-        self.load.record_syn(header, token, now)
+        self.load_tracker.record_syn(header, token, now)
         self._log_placement(
             header,
             selection.entry,
@@ -265,7 +269,7 @@
             entries = [
                 entry for entry in entries if entry.record.token not in colliding_tokens
             ]
-        return select_server(entries, new_flow, self.load, self.random)
+        return select_server(entries, new_flow, self.load_tracker, self.random)
 
     def _reports_to(self, vm: VmId) -> OutgoingReports:
         return self.outgoing_reports.setdefault(vm, OutgoingReports())
@@ -276,7 +280,7 @@
         In a zone with more than ``full_reporting_max_vms`` entry VMs, the load on a
         server is reported only to the placement coordinator of its service.
         """
-        loads = self.load.reportable_loads(now)
+        loads = self.load_tracker.reportable_loads(now)
         receivers = [vm for vm in self.coordinators.entry_vms if vm != self.settings.vm]
         if len(receivers) < self.settings.full_reporting_max_vms:
             return {vm: loads for vm in receivers}
@@ -293,7 +297,7 @@
         return by_receiver
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
-        flow = self.load.flows.get(header.flow_key)
+        flow = self.load_tracker.flows.get(header.flow_key)
         token = header.token
         if flow is not None and flow.is_established and token in flow.tried_tokens:
             token = flow.token
@@ -307,9 +311,9 @@
         ended_at = entry.ended_at
         if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
             return Reset(header.ack_number, "server-ended")
-        self.load.record_packet(header, token, now)
+        self.load_tracker.record_packet(header, token, now)
         if self._is_server_lost(header, entry.record, now):
-            self.load.remove_flow(header.flow_key)
+            self.load_tracker.remove_flow(header.flow_key)
             return Reset(header.ack_number, "server-silent")
         return Forward(entry.record, token)
 
@@ -322,15 +326,15 @@
         addition, the server's reports are overdue, its zone is unreachable, or SYN
         packets to it went unanswered.
         """
-        if not header.payload_length or not self.load.is_server_unresponsive(
+        if not header.payload_length or not self.load_tracker.is_server_unresponsive(
             header.flow_key, now
         ):
             return False
-        is_zone_unreachable = record.report.zone in self.load.unreachable_zones
+        is_zone_unreachable = record.report.zone in self.load_tracker.unreachable_zones
         return (
             record.is_late
             or is_zone_unreachable
-            or self.load.has_unanswered_syns(record.token)
+            or self.load_tracker.has_unanswered_syns(record.token)
         )
 
     def _decide_without_route(self, header: PacketHeader) -> Decision:
@@ -373,7 +377,7 @@
         )
 
     def _log_unanswered_syn(self, header: PacketHeader, token: int) -> None:
-        local_load = self.load.local_load_at(token)
+        local_load = self.load_tracker.local_load_at(token)
         log_decision(
             "server-unanswered",
             flow=header.flow_key.hex(),
