--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -101,11 +101,13 @@
         if self.has_served:
             return True
         is_cut_off = now - self.started_at > CUT_OFF_S
-        has_document = self.router.routes.document_number > 0
+        has_document = self.router.route_table.document_number > 0
         if has_document and (self.follower.is_fed(now) or is_cut_off):
             self.has_served = True
             log_decision(
-                "ready", document=self.router.routes.document_number, cut_off=is_cut_off
+                "ready",
+                document=self.router.route_table.document_number,
+                cut_off=is_cut_off,
             )
         return self.has_served
 
@@ -130,7 +132,7 @@
             self._note_feed(now)
             self._note_zones(now)
         if now >= self.poll_at:
-            is_searching = not self.router.routes.document_number
+            is_searching = not self.router.route_table.document_number
             self.poll_at = now + (SEARCH_S if is_searching else POLL_S)
             effects += [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
         return effects + self._share(now) + self._try_waiting(now)
@@ -170,7 +172,7 @@
             reason=decision.reason,
             opening=head.is_syn,
             token=head.token,
-            document=self.router.routes.document_number,
+            document=self.router.route_table.document_number,
         )
         reset = self.format.reset_for(data, decision.sequence_number)
         target = (self.format.caller_ip(data), self.settings.packets.port)
@@ -186,7 +188,7 @@
             flow=head.flow_key.hex(),
             reason=decision.reason,
             copy=head.retransmission_count,
-            document=self.router.routes.document_number,
+            document=self.router.route_table.document_number,
         )
         return []
 
@@ -204,7 +206,7 @@
                 flow=head.flow_key.hex(),
                 reason=decision.reason,
                 copy=head.retransmission_count,
-                document=self.router.routes.document_number,
+                document=self.router.route_table.document_number,
             )
         return []
 
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -114,7 +114,7 @@
     async def handle(call: HttpCall) -> HttpAnswer:
         counts = core.counts + ports.peers.counts + ports.packets.counts
         gauges = {
-            "document": float(core.router.routes.document_number),
+            "document": float(core.router.route_table.document_number),
             "servers": float(len(core.router.directory.by_token)),
             "flows": float(len(core.router.load_tracker.flows)),
             "held": float(core.router.token_buffer.count),
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -58,7 +58,7 @@
         self.random = random
         self.started_at = now
         self.directory = ServerDirectory()
-        self.routes = RouteTable()
+        self.route_table = RouteTable()
         self.load_tracker = LoadTracker(settings)
         self.token_buffer = TokenLookupBuffer(settings)
         self.syn_buffer = SynBuffer(settings)
@@ -76,7 +76,7 @@
 
     def install_routes(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        return self.routes.install(routes, now)
+        return self.route_table.install(routes, now)
 
     def store_record(self, record: ServerRecord, now: float) -> list[BufferedPacket]:
         """Store a server's record; return the packets buffered for its token."""
@@ -113,7 +113,7 @@
         packet = self.syn_buffer.by_flow.get(answer.flow_key)
         if packet is None:
             return None
-        route = self.routes.routes.get(packet.header.route_address)
+        route = self.route_table.routes.get(packet.header.route_address)
         service = route.select_service(answer.flow_key) if route else ServiceName("")
         if answer.is_full:
             self.last_full_at[service] = now
@@ -127,7 +127,7 @@
 
         If that server is unknown here or accepts no new flows, this VM selects one.
         """
-        route = self.routes.routes.get(header.route_address)
+        route = self.route_table.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header)
         service = route.select_service(header.flow_key)
@@ -168,7 +168,7 @@
         self.coordinators.remove_expired(now)
 
     def _route_syn(self, header: PacketHeader, now: float) -> Decision:
-        route = self.routes.routes.get(header.route_address)
+        route = self.route_table.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header)
         service = route.select_service(header.flow_key)
@@ -304,7 +304,7 @@
         entry = self.directory.by_token.get(token)
         if entry is None:
             return HoldForToken(token) if token else Drop("no-token")
-        if self.routes.was_removed_before(
+        if self.route_table.was_removed_before(
             header.route_address, now - self.settings.removed_route_grace_s
         ):
             return Reset(header.ack_number, "route-removed")
@@ -338,7 +338,7 @@
         )
 
     def _decide_without_route(self, header: PacketHeader) -> Decision:
-        if not self.routes.document_number:
+        if not self.route_table.document_number:
             return HoldForServer("no-document")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
 
@@ -368,7 +368,7 @@
             "flow-placed",
             flow=header.flow_key.hex(),
             copy=header.retransmission_count,
-            document=self.routes.document_number,
+            document=self.route_table.document_number,
             service=report.service,
             server=report.lifetime,
             token=entry.record.token,
