--- a/libs/daemons/tests/test_token_entry_zone.py
+++ b/libs/daemons/tests/test_token_entry_zone.py
@@ -215,7 +215,7 @@
     zone, requests = crest(6, 10, 0.7, seed)
     zone.run(1.0)
     router = zone.cores["10.1.0.1"].router
-    placer = router.placers.placer("entries", zone.now)
+    placer = router.coordinators.coordinator_for("entries", zone.now)
     zone.dead.add(placer)
     zone.run(3.0)
     lost = {caller for caller, (vm, _) in zone.works.items() if vm == placer}
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -43,7 +43,7 @@
     for name, count in dict(open_flows).items():
         load_tracker.local_load_at(Lifetime(name, 1).token).open_flows = count
     if load_report:
-        load_tracker.zone.apply_report(load_report, NOW_S)
+        load_tracker.peer_load.apply_report(load_report, NOW_S)
     selection = select_server(
         directory.running_servers("entries"), flow, load_tracker, Random(1)
     )
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -99,10 +99,10 @@
 
 def test_reported_load_counts_until_it_expires(tracker):
     other_tracker = LoadTracker(TokenRouterSettings("e2", "a"))
-    other_tracker.zone.take(
+    other_tracker.peer_load.apply_report(
         LoadReport("e1", 1, True, 0, tuple(tracker.reportable_loads(0.1))), 0.1
     )
     other_tracker.remove_expired(1.6)
-    assert other_tracker.zone.totals[7].active_requests == 1
+    assert other_tracker.peer_load.totals[7].active_requests == 1
     other_tracker.remove_expired(1.8)
-    assert other_tracker.zone.totals == {}
+    assert other_tracker.peer_load.totals == {}
--- a/libs/tokens/tests/test_placers.py
+++ b/libs/tokens/tests/test_placers.py
@@ -47,31 +47,31 @@
 
 def test_unresponsive_coordinator_is_skipped_during_its_backoff(coordinators):
     service = service_of_another_coordinator(coordinators)
-    coordinator = coordinators.placer(service, 0.0)
+    coordinator = coordinators.coordinator_for(service, 0.0)
     coordinators.record_request(coordinator, FLOW_KEY, 0.0)
     assert coordinators.is_pending(FLOW_KEY, 0.02)
     assert not coordinators.is_pending(FLOW_KEY, 0.04)
-    assert coordinators.placer(service, 0.1) != coordinator
-    assert coordinators.placer(service, 1.1) == coordinator
+    assert coordinators.coordinator_for(service, 0.1) != coordinator
+    assert coordinators.coordinator_for(service, 1.1) == coordinator
 
 
 def test_backoff_doubles_after_a_second_timeout(coordinators):
     service = service_of_another_coordinator(coordinators)
-    coordinator = coordinators.placer(service, 0.0)
+    coordinator = coordinators.coordinator_for(service, 0.0)
     for sent_at in (0.0, 1.1):
         coordinators.record_request(coordinator, FLOW_KEY, sent_at)
         coordinators.is_pending(FLOW_KEY, sent_at + 0.04)
-    assert coordinators.placer(service, 3.0) != coordinator
-    assert coordinators.placer(service, 3.2) == coordinator
+    assert coordinators.coordinator_for(service, 3.0) != coordinator
+    assert coordinators.coordinator_for(service, 3.2) == coordinator
 
 
 def test_answer_ends_the_backoff(coordinators):
     service = service_of_another_coordinator(coordinators)
-    coordinator = coordinators.placer(service, 0.0)
+    coordinator = coordinators.coordinator_for(service, 0.0)
     coordinators.record_request(coordinator, FLOW_KEY, 0.0)
     coordinators.is_pending(FLOW_KEY, 0.04)
     coordinators.record_answer(coordinator, FLOW_KEY)
-    assert coordinators.placer(service, 0.05) == coordinator
+    assert coordinators.coordinator_for(service, 0.05) == coordinator
 
 
 def test_timed_out_placement_requests_are_removed(coordinators):
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -91,59 +91,59 @@
 def test_syn_goes_to_a_server_of_the_routes_service():
     record = make_server_record("i-1")
     router = make_router(record, make_server_record("i-2", service="pagesetter"))
-    assert router.handle(make_syn(), NOW_S) == Forward(record, record.token)
+    assert router.route_packet(make_syn(), NOW_S) == Forward(record, record.token)
 
 
 def test_data_packet_is_routed_by_its_token_without_flow_state():
     record = make_server_record("i-1")
     router = make_router(record, make_server_record("i-2"))
-    assert router.handle(make_data_packet(record.token), NOW_S) == Forward(
+    assert router.route_packet(make_data_packet(record.token), NOW_S) == Forward(
         record, record.token
     )
 
 
 def test_packet_with_an_unknown_token_is_not_forwarded():
     router = make_router(make_server_record("i-1"))
-    assert router.handle(make_data_packet(77), NOW_S) == HoldForToken(77)
-    assert router.handle(make_data_packet(0), NOW_S) == Drop("no-token")
+    assert router.route_packet(make_data_packet(77), NOW_S) == HoldForToken(77)
+    assert router.route_packet(make_data_packet(0), NOW_S) == Drop("no-token")
 
 
 def test_buffered_packets_are_returned_when_their_server_becomes_known():
     record = make_server_record("i-3")
     router = make_router(make_server_record("i-1"))
     header = make_data_packet(record.token)
-    assert router.held.add(header, b"one", NOW_S) is True
-    assert router.held.add(header, b"two", NOW_S) is False
+    assert router.token_buffer.add(header, b"one", NOW_S) is True
+    assert router.token_buffer.add(header, b"two", NOW_S) is False
     packets = router.store_record(record, NOW_S + 0.1)
     assert [packet.data for packet in packets] == [b"one", b"two"]
-    assert router.held.count == 0
+    assert router.token_buffer.count == 0
 
 
 def test_buffered_packets_expire():
     router = make_router()
-    router.held.add(make_data_packet(77), b"one", NOW_S)
+    router.token_buffer.add(make_data_packet(77), b"one", NOW_S)
     router.remove_expired(NOW_S + 1.4)
-    assert router.held.count == 1
+    assert router.token_buffer.count == 1
     router.remove_expired(NOW_S + 1.6)
-    assert router.held.count == 0
+    assert router.token_buffer.count == 0
 
 
 def test_syn_to_an_unknown_route_is_reset():
     router = make_router(make_server_record("i-1"))
-    assert router.handle(make_syn(route_address=OTHER_ROUTE_ADDRESS), NOW_S) == Reset(
-        0, "no-route"
-    )
+    assert router.route_packet(
+        make_syn(route_address=OTHER_ROUTE_ADDRESS), NOW_S
+    ) == Reset(0, "no-route")
 
 
 def test_syn_waits_until_a_document_is_installed():
     router = TokenRouter(TokenRouterSettings("e1", "a"), Random(1), 0.0)
-    assert router.handle(make_syn(), NOW_S) == HoldForServer("no-document")
+    assert router.route_packet(make_syn(), NOW_S) == HoldForServer("no-document")
 
 
 def test_syn_waits_for_a_first_server_and_is_reset_after_the_timeout():
     router = make_router(now=0.0)
-    assert router.handle(make_syn(), 4.0) == HoldForServer("no-server-yet")
-    assert router.handle(make_syn(), 6.0) == Reset(0, "no-server")
+    assert router.route_packet(make_syn(), 4.0) == HoldForServer("no-server-yet")
+    assert router.route_packet(make_syn(), 6.0) == Reset(0, "no-server")
 
 
 def test_draining_server_keeps_open_flows_but_gets_no_new_flow():
@@ -151,9 +151,11 @@
     ready = make_server_record("i-2")
     router = make_router(draining, ready)
     for caller in range(6):
-        decision = router.handle(make_syn(caller), NOW_S)
+        decision = router.route_packet(make_syn(caller), NOW_S)
         assert decision.server == ready
-    assert router.handle(make_data_packet(draining.token), NOW_S).server == draining
+    assert (
+        router.route_packet(make_data_packet(draining.token), NOW_S).server == draining
+    )
 
 
 def test_flows_of_an_ended_server_are_reset_after_the_grace_period():
@@ -161,8 +163,10 @@
     ended = make_server_record("i-1", number=2, phase=Phase.ENDED)
     router.store_record(ended, NOW_S)
     token = ended.token
-    assert isinstance(router.handle(make_data_packet(token), NOW_S + 0.5), Forward)
-    assert router.handle(
+    assert isinstance(
+        router.route_packet(make_data_packet(token), NOW_S + 0.5), Forward
+    )
+    assert router.route_packet(
         make_data_packet(token, acknowledged=640), NOW_S + 1.1
     ) == Reset(640, "server-ended")
 
@@ -175,19 +179,21 @@
     router = make_router(previous)
     router.store_record(current, NOW_S)
     later = NOW_S + 1.1
-    assert isinstance(router.handle(make_data_packet(previous.token), later), Reset)
-    assert router.handle(make_data_packet(current.token), later).server == current
+    assert isinstance(
+        router.route_packet(make_data_packet(previous.token), later), Reset
+    )
+    assert router.route_packet(make_data_packet(current.token), later).server == current
 
 
 def test_open_flows_of_a_removed_route_are_reset_after_the_grace_period():
     record = make_server_record("i-1")
     router = make_router(record)
     router.install_routes(make_route_set(2, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
-    assert router.handle(make_syn(), NOW_S) == Reset(0, "no-route")
+    assert router.route_packet(make_syn(), NOW_S) == Reset(0, "no-route")
     assert isinstance(
-        router.handle(make_data_packet(record.token), NOW_S + 5.0), Forward
+        router.route_packet(make_data_packet(record.token), NOW_S + 5.0), Forward
     )
-    assert router.handle(make_data_packet(record.token), NOW_S + 6.1) == Reset(
+    assert router.route_packet(make_data_packet(record.token), NOW_S + 6.1) == Reset(
         500, "route-removed"
     )
 
@@ -198,51 +204,54 @@
         router.install_routes(make_route_set(4, pagesetter=OTHER_ROUTE_ADDRESS), NOW_S)
         is False
     )
-    assert isinstance(router.handle(make_syn(), NOW_S), Forward)
+    assert isinstance(router.route_packet(make_syn(), NOW_S), Forward)
 
 
 def test_retransmitted_syn_goes_to_another_server():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(first, second)
-    first_choice = router.handle(make_syn(), NOW_S).server
-    second_choice = router.handle(make_syn(retransmission_count=1), NOW_S + 0.2).server
+    first_choice = router.route_packet(make_syn(), NOW_S).server
+    second_choice = router.route_packet(
+        make_syn(retransmission_count=1), NOW_S + 0.2
+    ).server
     assert {first_choice, second_choice} == {first, second}
 
 
 def test_duplicate_syn_goes_to_the_same_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    first_decision = router.handle(make_syn(), NOW_S)
-    assert router.handle(make_syn(), NOW_S + 0.01) == first_decision
+    first_decision = router.route_packet(make_syn(), NOW_S)
+    assert router.route_packet(make_syn(), NOW_S + 0.01) == first_decision
 
 
 def test_immediate_retransmission_is_not_counted_against_the_server():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    first_decision = router.handle(make_syn(), NOW_S)
+    first_decision = router.route_packet(make_syn(), NOW_S)
     assert (
-        router.handle(make_syn(retransmission_count=1), NOW_S + 0.05) == first_decision
+        router.route_packet(make_syn(retransmission_count=1), NOW_S + 0.05)
+        == first_decision
     )
-    assert router.load.local_loads[first_decision.token].unanswered_syns == 0
+    assert router.load_tracker.local_loads[first_decision.token].unanswered_syns == 0
 
 
 def test_unresponsive_server_is_avoided_for_a_limited_time():
     unresponsive, responsive = make_server_record("i-1"), make_server_record("i-2")
     router = make_router(unresponsive, responsive)
-    router.load.local_load_at(responsive.token).active_requests = 1
-    assert router.handle(make_syn(1), NOW_S).server == unresponsive
-    router.handle(make_syn(1, retransmission_count=1), NOW_S + 0.2)
-    assert router.handle(make_syn(2), NOW_S + 0.3).server == responsive
-    assert router.handle(make_syn(3), NOW_S + 0.9).server == unresponsive
+    router.load_tracker.local_load_at(responsive.token).active_requests = 1
+    assert router.route_packet(make_syn(1), NOW_S).server == unresponsive
+    router.route_packet(make_syn(1, retransmission_count=1), NOW_S + 0.2)
+    assert router.route_packet(make_syn(2), NOW_S + 0.3).server == responsive
+    assert router.route_packet(make_syn(3), NOW_S + 0.9).server == unresponsive
 
 
 def test_flow_stays_with_the_first_server_that_its_caller_answers():
     router = make_router(make_server_record("i-1"), make_server_record("i-2"))
-    first_decision = router.handle(make_syn(), NOW_S)
-    second_decision = router.handle(make_syn(retransmission_count=1), NOW_S + 0.2)
+    first_decision = router.route_packet(make_syn(), NOW_S)
+    second_decision = router.route_packet(make_syn(retransmission_count=1), NOW_S + 0.2)
     assert (
-        router.handle(make_data_packet(first_decision.token), NOW_S + 0.3).server
+        router.route_packet(make_data_packet(first_decision.token), NOW_S + 0.3).server
         == first_decision.server
     )
-    late_decision = router.handle(
+    late_decision = router.route_packet(
         make_data_packet(second_decision.token, sequence=110), NOW_S + 0.4
     )
     assert late_decision == Forward(first_decision.server, first_decision.token)
@@ -259,13 +268,15 @@
         if token == 5
     }
     assert router.directory.colliding_tokens == {5}
-    assert router.handle(make_syn(), 3.0) == HoldForServer("no-server-yet")
+    assert router.route_packet(make_syn(), 3.0) == HoldForServer("no-server-yet")
 
 
 def retransmit(router, token, times=3, gap_s=0.3):
     """Send the same data several times; return the last decision."""
     for transmission in range(times):
-        decision = router.handle(make_data_packet(token), NOW_S + transmission * gap_s)
+        decision = router.route_packet(
+            make_data_packet(token), NOW_S + transmission * gap_s
+        )
     return decision
 
 
@@ -273,7 +284,7 @@
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record, make_server_record("i-2"))
     assert retransmit(router, record.token, times=2) == Forward(record, record.token)
-    assert router.handle(make_data_packet(record.token), NOW_S + 0.6) == Reset(
+    assert router.route_packet(make_data_packet(record.token), NOW_S + 0.6) == Reset(
         500, "server-silent"
     )
 
@@ -281,14 +292,14 @@
 def test_unanswered_flow_is_reset_if_the_zone_is_unreachable():
     record = make_server_record("i-1", zone="b")
     router = make_router(record)
-    router.load.unreachable_zones = frozenset({"b"})
+    router.load_tracker.unreachable_zones = frozenset({"b"})
     assert isinstance(retransmit(router, record.token), Reset)
 
 
 def test_unanswered_flow_is_reset_if_syns_are_unanswered_too():
     record = make_server_record("i-1")
     router = make_router(record)
-    router.load.local_load_at(record.token).unanswered_syns = 1
+    router.load_tracker.local_load_at(record.token).unanswered_syns = 1
     assert isinstance(retransmit(router, record.token), Reset)
 
 
@@ -301,15 +312,15 @@
 def test_flow_is_not_reset_if_its_server_answers_another_caller():
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
-    router.handle(make_data_packet(record.token), NOW_S)
-    router.handle(make_data_packet(record.token, caller=2), NOW_S + 0.1)
-    router.handle(
+    router.route_packet(make_data_packet(record.token), NOW_S)
+    router.route_packet(make_data_packet(record.token, caller=2), NOW_S + 0.1)
+    router.route_packet(
         make_data_packet(record.token, caller=2, acknowledged=900, length=0),
         NOW_S + 0.2,
     )
-    router.handle(make_data_packet(record.token), NOW_S + 0.3)
+    router.route_packet(make_data_packet(record.token), NOW_S + 0.3)
     assert isinstance(
-        router.handle(make_data_packet(record.token), NOW_S + 0.6), Forward
+        router.route_packet(make_data_packet(record.token), NOW_S + 0.6), Forward
     )
 
 
@@ -323,27 +334,27 @@
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
     retransmit(router, record.token, times=2)
-    router.handle(
+    router.route_packet(
         make_data_packet(record.token, acknowledged=900, length=0), NOW_S + 0.4
     )
     assert isinstance(
-        router.handle(make_data_packet(record.token), NOW_S + 0.7), Forward
+        router.route_packet(make_data_packet(record.token), NOW_S + 0.7), Forward
     )
 
 
 def test_syn_waits_while_every_server_queue_is_full():
     record = make_server_record("i-1")
     router = make_router(record)
-    router.load.local_load_at(record.token).active_requests = 8
-    assert router.handle(make_syn(), NOW_S) == HoldForServer("no-slot")
-    router.load.local_load_at(record.token).active_requests = 7
-    assert isinstance(router.handle(make_syn(), NOW_S), Forward)
+    router.load_tracker.local_load_at(record.token).active_requests = 8
+    assert router.route_packet(make_syn(), NOW_S) == HoldForServer("no-slot")
+    router.load_tracker.local_load_at(record.token).active_requests = 7
+    assert isinstance(router.route_packet(make_syn(), NOW_S), Forward)
 
 
 HEADERS = st.builds(
     PacketHeader,
-    flow=st.binary(min_size=12, max_size=12),
-    route=st.sampled_from([ROUTE_ADDRESS, OTHER_ROUTE_ADDRESS]),
+    flow_key=st.binary(min_size=12, max_size=12),
+    route_address=st.sampled_from([ROUTE_ADDRESS, OTHER_ROUTE_ADDRESS]),
     token=st.sampled_from([0, 1, make_server_record("i-1").token, 0xFFFFFFFF]),
     is_opening=st.booleans(),
     is_closing=st.booleans(),
@@ -360,10 +371,10 @@
     now = NOW_S
     for header in headers:
         now += 0.1
-        decision = router.handle(header, now)
+        decision = router.route_packet(header, now)
         if isinstance(decision, Forward):
             assert decision.server.report.service == "entries"
-    for local_load in router.load.local_loads.values():
+    for local_load in router.load_tracker.local_loads.values():
         assert local_load.active_requests >= 0
         assert local_load.open_flows >= 0
 
@@ -400,18 +411,18 @@
 def test_syn_causes_a_placement_request_to_the_coordinator():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
-    request = PlacementRequest("e1", header.flow, "entries", (), False)
-    assert router.handle(header, NOW_S) == RequestPlacement(coordinator, request)
+    request = PlacementRequest("e1", header.flow_key, "entries", (), False)
+    assert router.route_packet(header, NOW_S) == RequestPlacement(coordinator, request)
 
 
 def test_flow_is_placed_on_the_server_in_the_placement_answer():
     first, second = make_server_record("i-1"), make_server_record("i-2")
     router, coordinator = make_router_with_other_coordinator(first, second)
     header = make_syn()
-    router.handle(header, NOW_S)
+    router.route_packet(header, NOW_S)
     router.syn_buffer.add(header, b"one", NOW_S)
     for token in (first.token, second.token):
-        answer = PlacementAnswer(coordinator, header.flow, token, False, 9)
+        answer = PlacementAnswer(coordinator, header.flow_key, token, False, 9)
         packet = router.process_placement_answer(answer, NOW_S)
         assert (
             router.apply_placement_answer(packet.header, answer, NOW_S).token == token
@@ -426,7 +437,7 @@
         make_server_record("i-1"), draining, other
     )
     for token in (draining.token, other.token, 77, 0):
-        answer = PlacementAnswer(coordinator, make_syn().flow, token, False, 1)
+        answer = PlacementAnswer(coordinator, make_syn().flow_key, token, False, 1)
         decision = router.apply_placement_answer(make_syn(), answer, NOW_S)
         assert decision.server == make_server_record("i-1")
 
@@ -434,21 +445,21 @@
 def test_syn_waits_after_an_answer_that_every_server_is_full():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
-    router.handle(header, NOW_S)
+    router.route_packet(header, NOW_S)
     router.syn_buffer.add(header, b"one", NOW_S)
     full_answer = PlacementAnswer(
-        coordinator, header.flow, make_server_record("i-1").token, True, 0
+        coordinator, header.flow_key, make_server_record("i-1").token, True, 0
     )
     assert router.process_placement_answer(full_answer, NOW_S) is None
-    assert isinstance(router.handle(header, NOW_S + 0.05), RequestPlacement)
+    assert isinstance(router.route_packet(header, NOW_S + 0.05), RequestPlacement)
 
 
 def test_flow_is_placed_locally_after_a_placement_timeout():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
-    router.handle(make_syn(), NOW_S)
-    assert router.handle(make_syn(), NOW_S + 0.02) == HoldForServer("asked")
-    assert isinstance(router.handle(make_syn(), NOW_S + 0.05), Forward)
-    assert isinstance(router.handle(make_syn(2), NOW_S + 0.06), Forward)
+    router.route_packet(make_syn(), NOW_S)
+    assert router.route_packet(make_syn(), NOW_S + 0.02) == HoldForServer("asked")
+    assert isinstance(router.route_packet(make_syn(), NOW_S + 0.05), Forward)
+    assert isinstance(router.route_packet(make_syn(2), NOW_S + 0.06), Forward)
 
 
 def test_coordinator_counts_its_earlier_placements_for_other_vms():
@@ -473,7 +484,7 @@
 def test_load_is_reported_only_to_coordinators_in_a_large_zone():
     router = make_router(make_server_record("i-1"))
     router.coordinators.set_entry_vms(tuple(f"e{number}" for number in range(1, 24)))
-    router.handle(make_data_packet(make_server_record("i-1").token), NOW_S)
+    router.route_packet(make_data_packet(make_server_record("i-1").token), NOW_S)
     receivers = [vm for vm, _ in router.due_load_reports(NOW_S)]
     coordinator = router.coordinators.coordinator_for("entries", NOW_S)
     assert receivers == [coordinator]
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -33,49 +33,51 @@
 
 
 def test_load_is_summed_over_the_reporting_vms(peer_load):
-    peer_load.take(make_report(make_server_load(7, 2, 5)), 1.0)
-    peer_load.take(
+    peer_load.apply_report(make_report(make_server_load(7, 2, 5)), 1.0)
+    peer_load.apply_report(
         make_report(make_server_load(7, 1, 1), make_server_load(8), sender="e3"), 1.0
     )
     assert load_totals(peer_load) == {7: (3, 6), 8: (1, 1)}
 
 
 def test_complete_report_replaces_the_earlier_load(peer_load):
-    peer_load.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
-    peer_load.take(make_report(make_server_load(8, 3, 4), number=2), 1.1)
+    peer_load.apply_report(make_report(make_server_load(7), make_server_load(8)), 1.0)
+    peer_load.apply_report(make_report(make_server_load(8, 3, 4), number=2), 1.1)
     assert load_totals(peer_load) == {8: (3, 4)}
 
 
 def test_incremental_report_changes_only_the_listed_servers(peer_load):
-    peer_load.take(make_report(make_server_load(7), make_server_load(8)), 1.0)
-    peer_load.take(
+    peer_load.apply_report(make_report(make_server_load(7), make_server_load(8)), 1.0)
+    peer_load.apply_report(
         make_report(make_server_load(8, 0, 0), number=2, is_complete=False), 1.1
     )
     assert load_totals(peer_load) == {7: (1, 1)}
 
 
 def test_overtaken_report_is_ignored(peer_load):
-    peer_load.take(make_report(make_server_load(7, 5, 5), number=9), 1.0)
-    peer_load.take(
+    peer_load.apply_report(make_report(make_server_load(7, 5, 5), number=9), 1.0)
+    peer_load.apply_report(
         make_report(make_server_load(7, 1, 1), number=8, is_complete=False), 1.1
     )
     assert load_totals(peer_load) == {7: (5, 5)}
 
 
 def test_restarted_process_may_restart_its_report_numbers(peer_load):
-    peer_load.take(make_report(make_server_load(7), number=900), 1.0)
-    peer_load.take(make_report(make_server_load(8), number=1), 1.1)
+    peer_load.apply_report(make_report(make_server_load(7), number=900), 1.0)
+    peer_load.apply_report(make_report(make_server_load(8), number=1), 1.1)
     assert load_totals(peer_load) == {8: (1, 1)}
 
 
 def test_reservation_counts_until_a_report_includes_it(peer_load):
     reservation = peer_load.reserve("e2", 7, 1.0)
     assert load_totals(peer_load) == {7: (1, 1)}
-    peer_load.take(
+    peer_load.apply_report(
         make_report(make_server_load(7), included_reservation=reservation.number), 1.05
     )
     assert load_totals(peer_load) == {7: (1, 1)}
-    peer_load.take(make_report(number=2, included_reservation=reservation.number), 1.1)
+    peer_load.apply_report(
+        make_report(number=2, included_reservation=reservation.number), 1.1
+    )
     assert load_totals(peer_load) == {}
 
 
@@ -88,7 +90,7 @@
 
 
 def test_silent_vm_is_removed_with_its_load(peer_load):
-    peer_load.take(make_report(make_server_load(7)), 1.0)
+    peer_load.apply_report(make_report(make_server_load(7)), 1.0)
     peer_load.remove_expired(2.5)
     assert load_totals(peer_load) == {7: (1, 1)}
     peer_load.remove_expired(2.7)
@@ -143,9 +145,9 @@
         ]
         report = reports.next_report("e1", number, loads, now, 0.7)
         if report is not None and not is_lost:
-            peer_load.take(report, now)
+            peer_load.apply_report(report, now)
     complete_report = reports.next_report("e1", len(steps) + 1, loads, now + 0.7, 0.7)
-    peer_load.take(complete_report, now + 0.7)
+    peer_load.apply_report(complete_report, now + 0.7)
     assert load_totals(peer_load) == {
         token: counts for token, counts in load_state.items() if any(counts)
     }
--- a/tests/adapter/test_manifest.py
+++ b/tests/adapter/test_manifest.py
@@ -46,13 +46,15 @@
 
 def test_a_manifest_gives_its_routes():
     routes = read_routes(changed(lambda manifest: None)).ok
-    assert routes.number == 7
+    assert routes.document_number == 7
     assert routes.idle_timeout_s == 9.0
     assert routes.services == {"entries", "pagesetter"}
     one, two = routes.routes
     assert one.address == bytes([198, 18, 0, 1]) + (8443).to_bytes(2)
-    assert [(share.service, share.weight) for share in one.shares] == [("entries", 1)]
-    assert [share.weight for share in two.shares] == [90, 10]
+    assert [(share.service, share.weight) for share in one.weighted_services] == [
+        ("entries", 1)
+    ]
+    assert [share.weight for share in two.weighted_services] == [90, 10]
 
 
 def drop(*path):
--- a/tests/adapter/test_packets.py
+++ b/tests/adapter/test_packets.py
@@ -36,8 +36,13 @@
     assert head.is_syn
     assert not head.is_fin_or_rst
     assert head.route_address == bytes([198, 18, 0, 3]) + (8443).to_bytes(2)
-    assert head.flow[:6] == bytes([100, 64, 0, 9]) + (1234).to_bytes(2)
-    assert (head.token, head.copy, head.sequence_number, head.payload_length) == (
+    assert head.flow_key[:6] == bytes([100, 64, 0, 9]) + (1234).to_bytes(2)
+    assert (
+        head.token,
+        head.retransmission_count,
+        head.sequence_number,
+        head.payload_length,
+    ) == (
         0,
         0,
         16,
@@ -47,7 +52,7 @@
 
 def test_a_copy_of_an_opening_packet_counts_itself():
     second = OPENING[:24] + (2).to_bytes(4) + OPENING[28:]
-    assert read_head(second).copy == 2
+    assert read_head(second).retransmission_count == 2
 
 
 def test_a_data_packet_is_read():
@@ -57,7 +62,11 @@
         17,
         0x222,
     )
-    assert (head.payload_length, head.copy, head.is_syn) == (3, 0, False)
+    assert (head.payload_length, head.retransmission_count, head.is_syn) == (
+        3,
+        0,
+        False,
+    )
 
 
 @pytest.mark.parametrize(("flags", "closing"), [(8, True), (64, True), (16, False)])
@@ -111,4 +120,4 @@
     head = read_head(packet)
     if head is not None:
         assert len(packet) == 36 + head.payload_length
-        assert len(head.flow) == 12
+        assert len(head.flow_key) == 12
