--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -26,11 +26,11 @@
     RequestPlacement,
     Reset,
 )
-from kumquatmux_tokens.placers import PlacementAnswer, PlacementRequest
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import BufferedPacket
-from kumquatmux_tokens.work import LoadReport
+from kumquatmux_tokens.work import LoadShare
 
 POLL_S = 0.5
 """Seconds between polls of the control VMs, and between sweeps."""
@@ -251,18 +251,18 @@
         return effects
 
     @_take.register
-    def _(self, message: LoadReport, now: float) -> list[Effect]:
+    def _(self, message: LoadShare, now: float) -> list[Effect]:
         self.router.load_tracker.peer_load.apply_report(message, now)
         return []
 
     @_take.register
-    def _(self, message: PlacementRequest, now: float) -> list[Effect]:
+    def _(self, message: PlaceQuestion, now: float) -> list[Effect]:
         return [
             Sent(message.sender, self.router.answer_placement_request(message, now))
         ]
 
     @_take.register
-    def _(self, message: PlacementAnswer, now: float) -> list[Effect]:
+    def _(self, message: PlaceAnswer, now: float) -> list[Effect]:
         held = self.router.process_placement_answer(message, now)
         if held is None:
             return []
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -6,7 +6,7 @@
 
 from kumquatmux_core.identity import VmId
 from kumquatmux_registry.records import ServerRecord
-from kumquatmux_tokens.placers import PlacementRequest
+from kumquatmux_tokens.placers import PlaceQuestion
 
 
 class PacketHeader(NamedTuple):
@@ -100,7 +100,7 @@
     """
 
     coordinator: VmId
-    request: PlacementRequest
+    request: PlaceQuestion
 
 
 Decision = Forward | Reset | HoldForToken | HoldForServer | RequestPlacement | Drop
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -15,7 +15,7 @@
 from kumquatmux_tokens.settings import TokenRouterSettings
 
 
-class PlacementRequest(NamedTuple):
+class PlaceQuestion(NamedTuple):
     """Placement request: asks another VM to select the server for a new flow.
 
     Attributes:
@@ -34,7 +34,7 @@
     expects_many_requests: bool
 
 
-class PlacementAnswer(NamedTuple):
+class PlaceAnswer(NamedTuple):
     """Answer to a placement request: the server selected for a new flow.
 
     Attributes:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -23,13 +23,13 @@
 )
 from kumquatmux_tokens.placers import (
     CoordinatorSelector,
-    PlacementAnswer,
-    PlacementRequest,
+    PlaceAnswer,
+    PlaceQuestion,
 )
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer, TokenLookupBuffer
-from kumquatmux_tokens.work import LoadReport, OutgoingReports, ServerLoad
+from kumquatmux_tokens.work import LoadShare, OutgoingReports, ServerLoad
 
 SYN_RESET_SEQUENCE_NUMBER = 0
 
@@ -84,24 +84,22 @@
         return self.token_buffer.pop_packets(record.token)
 
     def answer_placement_request(
-        self, question: PlacementRequest, now: float
-    ) -> PlacementAnswer:
+        self, question: PlaceQuestion, now: float
+    ) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
         new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
         selection = self._select_server(question.service, new_flow)
         own_vm = self.settings.vm
         if selection is None:
-            return PlacementAnswer(own_vm, question.flow_key, 0, False, 0)
+            return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
         token = selection.entry.record.token
         if selection.is_full:
-            return PlacementAnswer(own_vm, question.flow_key, token, True, 0)
+            return PlaceAnswer(own_vm, question.flow_key, token, True, 0)
         reservation = self.load_tracker.peer_load.reserve(question.sender, token, now)
-        return PlacementAnswer(
-            own_vm, question.flow_key, token, False, reservation.number
-        )
+        return PlaceAnswer(own_vm, question.flow_key, token, False, reservation.number)
 
     def process_placement_answer(
-        self, answer: PlacementAnswer, now: float
+        self, answer: PlaceAnswer, now: float
     ) -> BufferedPacket | None:
         """Process the answer to a placement request.
 
@@ -121,7 +119,7 @@
         return packet
 
     def apply_placement_answer(
-        self, header: PacketHeader, answer: PlacementAnswer, now: float
+        self, header: PacketHeader, answer: PlaceAnswer, now: float
     ) -> Decision:
         """Return the decision for a SYN packet whose server another VM selected.
 
@@ -140,7 +138,7 @@
         self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
-    def due_load_reports(self, now: float) -> list[tuple[VmId, LoadReport]]:
+    def due_load_reports(self, now: float) -> list[tuple[VmId, LoadShare]]:
         """Return the load reports that are due, each with its receiver."""
         loads_by_receiver = self._loads_by_receiver(now)
         due_reports = []
@@ -209,7 +207,7 @@
         own_vm = self.settings.vm
         return RequestPlacement(
             coordinator,
-            PlacementRequest(
+            PlaceQuestion(
                 own_vm, header.flow_key, service, tried_tokens, expects_many_requests
             ),
         )
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -26,7 +26,7 @@
     is_avoided: bool
 
 
-class LoadReport(NamedTuple):
+class LoadShare(NamedTuple):
     """Load report from one entry VM to another.
 
     Attributes:
@@ -112,7 +112,7 @@
         self.reporting_peers: dict[VmId, ReportingPeer] = {}
         self.reservation_count = 0
 
-    def apply_report(self, report: LoadReport, now: float) -> None:
+    def apply_report(self, report: LoadShare, now: float) -> None:
         """Apply a load report from another VM.
 
         A report that a newer one overtook is ignored. A report number that is lower by
@@ -231,7 +231,7 @@
         server_loads: Iterable[ServerLoad],
         now: float,
         complete_interval_s: float,
-    ) -> LoadReport | None:
+    ) -> LoadShare | None:
         """Return the load report to send now, None if there is nothing to report.
 
         Args:
@@ -266,6 +266,6 @@
         ):
             return None
         self.reported_reservation = self.used_reservation
-        return LoadReport(
+        return LoadShare(
             sender, number, is_complete, self.used_reservation, loads_to_report
         )
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -8,7 +8,7 @@
 from kumquatmux_tokens.directory import ServerDirectory
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.work import LoadReport, ServerLoad
+from kumquatmux_tokens.work import LoadShare, ServerLoad
 
 NOW_S = 10.0
 FLOW_WITH_FEW_REQUESTS = NewFlow((), False, NOW_S)
@@ -66,7 +66,7 @@
 
 def test_load_reported_by_other_vms_counts():
     token = Lifetime("i-1", 1).token
-    load_report = LoadReport("e2", 1, True, 0, (ServerLoad(token, 3, 3, False),))
+    load_report = LoadShare("e2", 1, True, 0, (ServerLoad(token, 3, 3, False),))
     assert (
         selected_server_name(
             [make_server_record("i-1"), make_server_record("i-2")],
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -5,7 +5,7 @@
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.work import LoadReport
+from kumquatmux_tokens.work import LoadShare
 
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
 FLOW_KEY = bytes(6) + ROUTE_ADDRESS
@@ -100,7 +100,7 @@
 def test_reported_load_counts_until_it_expires(tracker):
     other_tracker = LoadTracker(TokenRouterSettings("e2", "a"))
     other_tracker.peer_load.apply_report(
-        LoadReport("e1", 1, True, 0, tuple(tracker.reportable_loads(0.1))), 0.1
+        LoadShare("e1", 1, True, 0, tuple(tracker.reportable_loads(0.1))), 0.1
     )
     other_tracker.remove_expired(1.6)
     assert other_tracker.peer_load.totals[7].active_requests == 1
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -17,7 +17,7 @@
     RequestPlacement,
     Reset,
 )
-from kumquatmux_tokens.placers import PlacementAnswer, PlacementRequest
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 from kumquatmux_tokens.settings import TokenRouterSettings
@@ -411,7 +411,7 @@
 def test_syn_causes_a_placement_request_to_the_coordinator():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
-    request = PlacementRequest("e1", header.flow_key, "entries", (), False)
+    request = PlaceQuestion("e1", header.flow_key, "entries", (), False)
     assert router.route_packet(header, NOW_S) == RequestPlacement(coordinator, request)
 
 
@@ -422,7 +422,7 @@
     router.route_packet(header, NOW_S)
     router.syn_buffer.add(header, b"one", NOW_S)
     for token in (first.token, second.token):
-        answer = PlacementAnswer(coordinator, header.flow_key, token, False, 9)
+        answer = PlaceAnswer(coordinator, header.flow_key, token, False, 9)
         packet = router.process_placement_answer(answer, NOW_S)
         assert (
             router.apply_placement_answer(packet.header, answer, NOW_S).token == token
@@ -437,7 +437,7 @@
         make_server_record("i-1"), draining, other
     )
     for token in (draining.token, other.token, 77, 0):
-        answer = PlacementAnswer(coordinator, make_syn().flow_key, token, False, 1)
+        answer = PlaceAnswer(coordinator, make_syn().flow_key, token, False, 1)
         decision = router.apply_placement_answer(make_syn(), answer, NOW_S)
         assert decision.server == make_server_record("i-1")
 
@@ -447,7 +447,7 @@
     header = make_syn()
     router.route_packet(header, NOW_S)
     router.syn_buffer.add(header, b"one", NOW_S)
-    full_answer = PlacementAnswer(
+    full_answer = PlaceAnswer(
         coordinator, header.flow_key, make_server_record("i-1").token, True, 0
     )
     assert router.process_placement_answer(full_answer, NOW_S) is None
@@ -468,15 +468,13 @@
     selected_tokens = set()
     for caller in range(2):
         flow_key = make_flow_key(caller, ROUTE_ADDRESS)
-        request = PlacementRequest("e2", flow_key, "entries", (), False)
+        request = PlaceQuestion("e2", flow_key, "entries", (), False)
         selected_tokens.add(router.answer_placement_request(request, NOW_S).token)
     assert selected_tokens == {first.token, second.token}
 
 
 def test_placement_answer_has_no_token_without_servers():
-    request = PlacementRequest(
-        "e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False
-    )
+    request = PlaceQuestion("e2", make_flow_key(1, ROUTE_ADDRESS), "entries", (), False)
     answer = make_router().answer_placement_request(request, NOW_S)
     assert (answer.token, answer.reservation_number) == (0, 0)
 
--- a/libs/tokens/tests/test_work.py
+++ b/libs/tokens/tests/test_work.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.work import LoadReport, OutgoingReports, PeerLoad, ServerLoad
+from kumquatmux_tokens.work import LoadShare, OutgoingReports, PeerLoad, ServerLoad
 
 SETTINGS = TokenRouterSettings("e1", "a")
 
@@ -18,7 +18,7 @@
 def make_report(
     *server_loads, sender="e2", number=1, is_complete=True, included_reservation=0
 ):
-    return LoadReport(sender, number, is_complete, included_reservation, server_loads)
+    return LoadShare(sender, number, is_complete, included_reservation, server_loads)
 
 
 def make_server_load(token, active_requests=1, open_flows=1, is_avoided=False):
