--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -356,12 +356,12 @@
     flow_key=st.binary(min_size=12, max_size=12),
     route_address=st.sampled_from([ROUTE_ADDRESS, OTHER_ROUTE_ADDRESS]),
     token=st.sampled_from([0, 1, make_server_record("i-1").token, 0xFFFFFFFF]),
-    is_opening=st.booleans(),
-    is_closing=st.booleans(),
-    copy=st.integers(0, 0xFFFFFFFF),
-    sequence=st.integers(0, 0xFFFFFFFF),
-    acknowledged=st.integers(0, 0xFFFFFFFF),
-    length=st.integers(0, 1200),
+    is_syn=st.booleans(),
+    is_fin_or_rst=st.booleans(),
+    retransmission_count=st.integers(0, 0xFFFFFFFF),
+    sequence_number=st.integers(0, 0xFFFFFFFF),
+    ack_number=st.integers(0, 0xFFFFFFFF),
+    payload_length=st.integers(0, 1200),
 )
 
 
