--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -100,12 +100,12 @@
     Attributes:
         flows: Flows by flow key.
         local_loads: Load that flows through this VM cause, by token.
-        zone: Load that other VMs of the zone report.
+        peer_load: Load that other VMs of the zone report.
         forwarded_syns: Times and flow keys of forwarded SYN packets, oldest first.
         follow_up_share: Share of a route's requests that follow another one on their
             flow.
-        silent_zones: Other zones that do not answer, so that their servers are probably
-            unreachable.
+        unreachable_zones: Other zones that do not answer, so that their servers are
+            probably unreachable.
         latencies: Histograms of the handshake time and the time to the first answer.
     """
 
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -13,17 +13,18 @@
     """Header fields of a caller's packet that routing needs.
 
     Attributes:
-        flow: 12-byte flow key: the caller's IPv4 address and port, then the route's.
-        route: Last 6 bytes of ``flow_key``: the route's IPv4 address and port.
+        flow_key: 12-byte flow key: the caller's IPv4 address and port, then the
+            route's.
+        route_address: Last 6 bytes of ``flow_key``: the route's IPv4 address and port.
         token: Token of the server that the packet belongs to, 0 for none.
-        is_opening: Whether the packet is a SYN, which opens a flow.
-        is_closing: Whether the packet is a FIN or RST.
-        copy: Number of times the caller has sent the same SYN before; 0 for other
-            packets.
-        sequence: Sequence number of the first payload byte.
-        acknowledged: Acknowledgment number, up to which the caller has received the
+        is_syn: Whether the packet is a SYN, which opens a flow.
+        is_fin_or_rst: Whether the packet is a FIN or RST.
+        retransmission_count: Number of times the caller has sent the same SYN before; 0
+            for other packets.
+        sequence_number: Sequence number of the first payload byte.
+        ack_number: Acknowledgment number, up to which the caller has received the
             server's data.
-        length: Payload length in bytes.
+        payload_length: Payload length in bytes.
     """
 
     flow_key: bytes
@@ -53,7 +54,7 @@
     """Decision to answer the caller with a reset (RST) packet.
 
     Attributes:
-        sequence: Sequence number of the reset packet.
+        sequence_number: Sequence number of the reset packet.
         reason: Reason code for logs and metrics.
     """
 
@@ -95,8 +96,8 @@
     """Decision to buffer a SYN packet and ask another VM to select its server.
 
     Attributes:
-        vm: The VM to ask.
-        question: The message to send to it.
+        coordinator: The VM to ask.
+        request: The message to send to it.
     """
 
     coordinator: VmId
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -39,11 +39,11 @@
 
     Attributes:
         directory: Known servers by token.
-        routes: Routes in force.
-        load: Load on each server.
-        held: Packets that are buffered while their token is looked up.
-        waiting: SYN packets that are buffered until a server can take their flow.
-        placers: Selects the placement coordinator of each service.
+        route_table: Routes in force.
+        load_tracker: Load on each server.
+        token_buffer: Packets that are buffered while their token is looked up.
+        syn_buffer: SYN packets that are buffered until a server can take their flow.
+        coordinators: Selects the placement coordinator of each service.
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
         last_served_at: Time when each service last had a server for a flow.
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -27,7 +27,8 @@
     Attributes:
         name: Name of the route.
         address: 6 bytes: the IPv4 address and port that callers send to.
-        shares: Weighted services, at least one of them with a weight above 0.
+        weighted_services: Weighted services, at least one of them with a weight above
+            0.
     """
 
     name: str
@@ -53,10 +54,10 @@
     """The part of a configuration document that routing needs.
 
     Attributes:
-        number: Document number, 0 for no document.
+        document_number: Document number, 0 for no document.
         routes: The document's routes.
         services: Names of the document's services.
-        idle_s: Idle time in seconds after which a flow may be dropped.
+        idle_timeout_s: Idle time in seconds after which a flow may be dropped.
     """
 
     document_number: int
@@ -71,7 +72,7 @@
     A document never replaces one with an equal or higher number.
 
     Attributes:
-        number: Number of the document in force, 0 for none.
+        document_number: Number of the document in force, 0 for none.
         routes: Routes of that document, by address.
         removed_at: Removal times of routes that are no longer in force, by address.
     """
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -51,8 +51,9 @@
         remote_zone_cost: Load per slot up to which new flows stay in their own zone;
             also added to the cost of servers in other zones.
         idle_flow_cost: Cost of an open flow without a request, relative to a request.
-        queue_depth: Requests that may queue at a server beyond its slots before new
-            flows wait here; as many as finish well within the target time of an answer.
+        server_queue_limit: Requests that may queue at a server beyond its slots before
+            new flows wait here; as many as finish well within the target time of an
+            answer.
         warm_up_cost_factor: Factor on the cost of a server in warm-up.
         server_avoidance_s: Seconds for which a server is avoided after it left a SYN
             packet unanswered; doubles with each further one.
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -13,7 +13,7 @@
     """A buffered packet.
 
     Attributes:
-        head: Its header fields.
+        header: Its header fields.
         data: Its bytes.
         expires_at: Time when it is dropped, in monotonic seconds.
     """
