--- a/libs/agreement/src/kumquatmux_agreement/core.py
+++ b/libs/agreement/src/kumquatmux_agreement/core.py
@@ -17,9 +17,9 @@
 from kumquatmux_agreement.events import (
     Action,
     Apply,
-    Outcome,
     Persist,
     Reply,
+    RequestOutcome,
     Role,
     RoleChanged,
     Send,
@@ -66,7 +66,7 @@
     """Replica state that does not depend on the role.
 
     The steady clock counts seconds since the start. It never goes back and advances by
-    at most ``clock_gap_s`` between two events.
+    at most ``max_event_gap_s`` between two events.
 
     Attributes:
         settings: Identity, timing and limits of the replica.
@@ -74,16 +74,17 @@
         vote_record: Current term and vote.
         log: Log in memory.
         persisted_index: Last entry known to be durable on this replica's disk.
-        commit: Last entry known to be committed.
+        commit_index: Last entry known to be committed.
         role: Current role.
         leader: Leader that the replica follows, or None if unknown.
-        leadership: Leader state, or None if the replica is not the leader.
+        leader_state: Leader state, or None if the replica is not the leader.
         election: Election in which the replica is the candidate, or None.
         incoming_snapshot: Snapshot that is being received, or None.
         failure: Problem that made the replica fail, or None.
         now: Time of the latest event on the caller's clock, in seconds.
-        clock: Current time on the steady clock.
-        heard_at: Time of the last message from a leader, on the steady clock.
+        steady_now: Current time on the steady clock.
+        last_leader_contact_at: Time of the last message from a leader, on the steady
+            clock.
         election_deadline: Time at which the next pre-vote starts, on the steady clock.
         election_retry_at: Earliest time of a new pre-vote after an election is started,
             on the steady clock.
@@ -102,21 +103,21 @@
         self.vote_record = durable_state.vote
         self.log = Log(durable_state.snapshot, durable_state.entries)
         self.persisted_index = self.log.last_index
-        self.commit = durable_state.snapshot.log_index
+        self.commit_index = durable_state.snapshot.log_index
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
-        self.leadership: LeaderState | None = None
+        self.leader_state: LeaderState | None = None
         self.election: Election | None = None
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: Problem | None = None
         self.now = -math.inf
-        self.clock = 0.0
+        self.steady_now = 0.0
         start_timeout_s = settings.start_timeout_s
-        if settings.lease_share and start_timeout_s < settings.election_timeout_s:
+        if settings.lease_fraction and start_timeout_s < settings.election_timeout_s:
             raise ValueError(
                 "a read lease requires start_timeout_s >= election_timeout_s"
             )
-        self.heard_at = start_timeout_s - settings.election_timeout_s
+        self.last_leader_contact_at = start_timeout_s - settings.election_timeout_s
         self.next_join_request_at = 0.0
         self.schedule_elections()
         self.last_snapshot_index = durable_state.snapshot.log_index
@@ -128,7 +129,7 @@
     @property
     def replica_id(self) -> ReplicaId:
         """Identity of this replica."""
-        return self.settings.replica
+        return self.settings.replica_id
 
     @property
     def term(self) -> int:
@@ -159,7 +160,7 @@
         A voter whose removal is not committed may still have to lead, because its log
         may be the most complete one.
         """
-        committed_configuration = self.log.configuration_at(self.commit)
+        committed_configuration = self.log.configuration_at(self.commit_index)
         return (
             self.replica_id
             in self.log.configuration.voters + committed_configuration.voters
@@ -168,7 +169,7 @@
     def random_election_deadline(self) -> float:
         """Return a random deadline between one and two election timeouts from now."""
         election_timeout_s = self.settings.election_timeout_s
-        return self.clock + election_timeout_s * (1 + self.random.random())
+        return self.steady_now + election_timeout_s * (1 + self.random.random())
 
     def schedule_elections(self) -> None:
         """Draw random times for the next pre-vote and for a retry after an election.
@@ -179,10 +180,10 @@
         """
         timeout_factor = 1 + self.random.random()
         self.election_deadline = (
-            self.clock + self.settings.start_timeout_s * timeout_factor
+            self.steady_now + self.settings.start_timeout_s * timeout_factor
         )
         self.election_retry_at = (
-            self.clock + self.settings.election_timeout_s * timeout_factor
+            self.steady_now + self.settings.election_timeout_s * timeout_factor
         )
 
     def advance_clock(self, now: float) -> None:
@@ -193,10 +194,10 @@
         """
         elapsed = now - self.now if math.isfinite(self.now) else 0.0
         self.now = now
-        self.clock += min(max(elapsed, 0.0), self.settings.clock_gap_s)
-        has_jumped = not 0.0 <= elapsed <= self.settings.clock_gap_s
-        if has_jumped and self.leadership is not None:
-            self.leadership.discard_send_times()
+        self.steady_now += min(max(elapsed, 0.0), self.settings.max_event_gap_s)
+        has_jumped = not 0.0 <= elapsed <= self.settings.max_event_gap_s
+        if has_jumped and self.leader_state is not None:
+            self.leader_state.discard_send_times()
 
     def passive_role(self) -> Role:
         """Return the role of this replica as neither leader nor candidate."""
@@ -253,7 +254,7 @@
     def append(self, entries: tuple[Entry, ...]) -> None:
         """Append entries to the log and request that they be made durable."""
         first_index = entries[0].log_index
-        if first_index <= self.commit:
+        if first_index <= self.commit_index:
             raise AssertionError(f"cannot replace committed entry {first_index}")
         self.persisted_index = min(self.persisted_index, first_index - 1)
         for pending_persist in self.pending_persists.values():
@@ -274,10 +275,10 @@
             voters=",".join(map(str, self.log.configuration.voters)),
             learners=",".join(map(str, self.log.configuration.learners)),
         )
-        if self.leadership is not None:
+        if self.leader_state is not None:
             next_index = self.log.last_index + 1
-            self.leadership.track_members(
-                self.log.configuration, next_index, self.clock
+            self.leader_state.track_members(
+                self.log.configuration, next_index, self.steady_now
             )
         elif self.role not in (Role.CANDIDATE, Role.FAILED):
             self.set_role(self.passive_role(), self.leader)
@@ -296,8 +297,8 @@
             reason: Why leadership ends, for the log and the replies.
         """
         self.election = None
-        leader_state = self.leadership
-        self.leadership = None
+        leader_state = self.leader_state
+        self.leader_state = None
         if leader_state is None:
             return
         log_decision("agreement-step-down", replica=self.replica_id, reason=reason)
@@ -306,41 +307,47 @@
         )
         for token in leader_state.pending_proposals.values():
             self.actions.append(
-                Reply(token, Outcome.UNKNOWN, 0, unknown_problem, self.leader)
+                Reply(token, RequestOutcome.UNKNOWN, 0, unknown_problem, self.leader)
             )
         not_leader_problem = Problem("not-leader", f"the leader stepped down: {reason}")
         for read in leader_state.pending_reads:
             self.actions.append(
-                Reply(read.token, Outcome.REFUSED, 0, not_leader_problem)
+                Reply(read.token, RequestOutcome.REFUSED, 0, not_leader_problem)
             )
         self.election_deadline = self.random_election_deadline()
 
     def commit_up_to(self, index: int) -> None:
         """Commit entries, request their application and answer their proposals."""
-        if index <= self.commit:
+        if index <= self.commit_index:
             return
-        entries = self.log.entries_between(self.commit + 1, index)
-        self.commit = index
+        entries = self.log.entries_between(self.commit_index + 1, index)
+        self.commit_index = index
         data_entries = tuple(entry for entry in entries if entry.kind == EntryKind.DATA)
         if data_entries:
             self.actions.append(Apply(data_entries))
-        if self.leadership is not None:
+        if self.leader_state is not None:
             self.reply_to_committed(entries)
-        snapshot_due_index = self.last_snapshot_index + self.settings.snapshot_entries
+        snapshot_due_index = (
+            self.last_snapshot_index + self.settings.snapshot_interval_entries
+        )
         if index >= snapshot_due_index:
             self.last_snapshot_index = index
             self.actions.append(TakeSnapshot(index))
 
     def reply_to_committed(self, entries: tuple[Entry, ...]) -> None:
         """Answer the proposals and membership changes in committed entries."""
-        leader_state = self.leadership
+        leader_state = self.leader_state
         if leader_state is None:
             return
         for entry in entries:
             token = leader_state.pending_proposals.pop(entry.log_index, None)
             if token is not None:
                 reply = Reply(
-                    token, Outcome.COMMITTED, entry.log_index, None, self.replica_id
+                    token,
+                    RequestOutcome.COMMITTED,
+                    entry.log_index,
+                    None,
+                    self.replica_id,
                 )
                 self.actions.append(reply)
 
--- a/libs/agreement/src/kumquatmux_agreement/events.py
+++ b/libs/agreement/src/kumquatmux_agreement/events.py
@@ -11,7 +11,7 @@
 from kumquatmux_core.problems import Problem
 
 
-class Received(NamedTuple):
+class MessageReceived(NamedTuple):
     """Event: a message from another replica has arrived.
 
     Attributes:
@@ -65,7 +65,7 @@
     token: str
 
 
-class HandOver(NamedTuple):
+class TransferLeadership(NamedTuple):
     """Event: the process is about to stop; a leader asks another voter to lead."""
 
 
@@ -168,7 +168,7 @@
     log_index: int
 
 
-class Outcome(StrEnum):
+class RequestOutcome(StrEnum):
     """Outcome of a request.
 
     ``COMMITTED`` answers a proposal or a membership change, ``CURRENT`` a read.
@@ -195,7 +195,7 @@
     """
 
     token: str
-    outcome: Outcome
+    outcome: RequestOutcome
     log_index: int = 0
     problem: Problem | None = None
     leader: ReplicaId | None = None
@@ -231,12 +231,12 @@
 
 
 Event = (
-    Received
+    MessageReceived
     | Tick
     | Propose
     | Read
     | ChangeMembership
-    | HandOver
+    | TransferLeadership
     | Persisted
     | PersistFailed
     | SnapshotTaken
--- a/libs/agreement/src/kumquatmux_agreement/leading.py
+++ b/libs/agreement/src/kumquatmux_agreement/leading.py
@@ -4,7 +4,7 @@
 
 from kumquatmux_agreement.core import ReplicaCore
 from kumquatmux_agreement.entries import Configuration, Entry, EntryKind, ReplicaId
-from kumquatmux_agreement.events import Outcome, Reply, Role
+from kumquatmux_agreement.events import Reply, RequestOutcome, Role
 from kumquatmux_agreement.leadership import (
     LeaderState,
     PendingRead,
@@ -29,7 +29,7 @@
 def become_leader(core: ReplicaCore) -> None:
     """Start to lead by appending an empty entry of the current term."""
     core.election = None
-    core.leadership = LeaderState(core.settings, core.log, core.clock, core.now)
+    core.leader_state = LeaderState(core.settings, core.log, core.steady_now, core.now)
     core.set_role(Role.LEADER, core.replica_id)
     append_entry(core, EntryKind.EMPTY)
     broadcast(core)
@@ -54,7 +54,9 @@
     """Append data to the log, or refuse the request."""
     problem = _proposal_problem(core, leader_state, data)
     if problem is not None:
-        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
+        core.actions.append(
+            Reply(token, RequestOutcome.REFUSED, 0, problem, core.replica_id)
+        )
         return
     index = append_entry(core, EntryKind.DATA, data=data)
     leader_state.pending_proposals[index] = token
@@ -63,15 +65,19 @@
 
 def answer_read(core: ReplicaCore, leader_state: LeaderState, token: str) -> None:
     """Answer a read at once under the lease, else after a quorum has replied."""
-    if core.commit < leader_state.first_index:
+    if core.commit_index < leader_state.term_start_index:
         problem = Problem(
             "not-ready", "the leader has not committed an entry of its term yet"
         )
-        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
+        core.actions.append(
+            Reply(token, RequestOutcome.REFUSED, 0, problem, core.replica_id)
+        )
         return
     if leader_state.lease_expires_at(core.log.configuration, core.now) > core.now:
         core.actions.append(
-            Reply(token, Outcome.CURRENT, core.commit, None, core.replica_id)
+            Reply(
+                token, RequestOutcome.CURRENT, core.commit_index, None, core.replica_id
+            )
         )
         return
     leader_state.pending_reads.append(PendingRead(token, leader_state.round + 1))
@@ -87,19 +93,25 @@
     The members are then changed one at a time by ``tick``.
     """
     current_configuration = core.log.configuration
-    new_configuration = current_configuration._replace(vms=tuple(sorted(set(vms))))
+    new_configuration = current_configuration._replace(
+        wanted_vms=tuple(sorted(set(vms)))
+    )
     problem = None
-    if len(new_configuration.vms) not in ALLOWED_VM_COUNTS or len(vms) != len(
-        new_configuration.vms
+    if len(new_configuration.wanted_vms) not in ALLOWED_VM_COUNTS or len(vms) != len(
+        new_configuration.wanted_vms
     ):
         detail = f"{len(vms)} control VMs requested; 1, 3 or 5 distinct ones required"
         problem = Problem("membership-size", detail)
     elif not _can_change_membership(core, leader_state):
         problem = Problem("membership-busy", "another membership change is in progress")
-    elif not has_live_quorum(new_configuration, leader_state.live_members(core.clock)):
+    elif not has_live_quorum(
+        new_configuration, leader_state.live_members(core.steady_now)
+    ):
         problem = Problem("membership-quorum", "too few of the voters are live")
     if problem is not None:
-        core.actions.append(Reply(token, Outcome.REFUSED, 0, problem, core.replica_id))
+        core.actions.append(
+            Reply(token, RequestOutcome.REFUSED, 0, problem, core.replica_id)
+        )
         return
     index = append_entry(core, EntryKind.CONFIGURATION, configuration=new_configuration)
     leader_state.pending_proposals[index] = token
@@ -108,9 +120,9 @@
 
 def tick(core: ReplicaCore, leader_state: LeaderState) -> None:
     """Step down without a live quorum; else send heartbeats and advance membership."""
-    live_members = leader_state.live_members(core.clock)
+    live_members = leader_state.live_members(core.steady_now)
     is_in_grace_period = (
-        core.clock - leader_state.leading_since < core.settings.election_timeout_s
+        core.steady_now - leader_state.leading_since < core.settings.election_timeout_s
     )
     if not is_in_grace_period and not has_live_quorum(
         core.log.configuration, live_members
@@ -118,7 +130,7 @@
         core.step_down("no quorum of voters is live")
         core.set_role(core.passive_role(), None)
         return
-    if core.clock >= leader_state.next_heartbeat_at:
+    if core.steady_now >= leader_state.next_heartbeat_at:
         broadcast(core)
     if _can_change_membership(core, leader_state):
         _advance_membership(core, leader_state)
@@ -126,11 +138,11 @@
 
 def broadcast(core: ReplicaCore) -> None:
     """Start a round and send each member its missing entries or a heartbeat."""
-    leader_state = core.leadership
+    leader_state = core.leader_state
     if leader_state is None:
         return
     leader_state.begin_round(core.now)
-    leader_state.next_heartbeat_at = core.clock + core.settings.heartbeat_s
+    leader_state.next_heartbeat_at = core.steady_now + core.settings.heartbeat_s
     for member, progress in leader_state.progress.items():
         progress.next_index = max(
             progress.match_index + 1, min(progress.next_index, _resend_index(progress))
@@ -152,11 +164,11 @@
 
 def handle_append_reply(core: ReplicaCore, message: AppendReply) -> None:
     """Process a member's acknowledgement or rejection of entries."""
-    leader_state = core.leadership
+    leader_state = core.leader_state
     if leader_state is None or message.term != core.term:
         return
     sender = message.sender
-    progress = leader_state.record_reply(sender, message.round, core.clock)
+    progress = leader_state.record_reply(sender, message.round, core.steady_now)
     if progress is None:
         return
     if message.is_matched:
@@ -170,7 +182,7 @@
             _lower_match_index(progress, sender, retry_index)
         progress.next_index = max(progress.match_index + 1, retry_index)
         send_next_message(core, leader_state, sender, progress)
-    if core.leadership is not leader_state:
+    if core.leader_state is not leader_state:
         return
     answer_confirmed_reads(core, leader_state)
     has_unsent_entries = progress.next_index <= core.log.last_index
@@ -180,10 +192,10 @@
 
 def handle_snapshot_reply(core: ReplicaCore, message: SnapshotReply) -> None:
     """Send the next chunk of a snapshot."""
-    leader_state = core.leadership
+    leader_state = core.leader_state
     if leader_state is None or message.term != core.term:
         return
-    progress = leader_state.record_reply(message.sender, message.round, core.clock)
+    progress = leader_state.record_reply(message.sender, message.round, core.steady_now)
     if progress is None or progress.snapshot is None:
         return
     if progress.snapshot.log_index != message.log_index:
@@ -197,13 +209,13 @@
 
 def advance_commit(core: ReplicaCore) -> None:
     """Commit the entries that a quorum has persisted, if of the current term."""
-    leader_state = core.leadership
+    leader_state = core.leader_state
     if leader_state is None:
         return
     quorum_index = leader_state.quorum_match_index(
         core.log.configuration, core.persisted_index
     )
-    if quorum_index <= core.commit or core.log.term_at(quorum_index) != core.term:
+    if quorum_index <= core.commit_index or core.log.term_at(quorum_index) != core.term:
         return
     core.commit_up_to(quorum_index)
     if core.log.configuration_index <= quorum_index:
@@ -213,7 +225,7 @@
             return
     for member, progress in leader_state.progress.items():
         needs_commit_index = (
-            progress.sent_commit_index < core.commit <= progress.match_index
+            progress.sent_commit_index < core.commit_index <= progress.match_index
         )
         if needs_commit_index:
             send_next_message(core, leader_state, member, progress)
@@ -231,7 +243,11 @@
     for pending_read in pending_reads:
         if pending_read.round <= quorum_round:
             reply = Reply(
-                pending_read.token, Outcome.CURRENT, core.commit, None, core.replica_id
+                pending_read.token,
+                RequestOutcome.CURRENT,
+                core.commit_index,
+                None,
+                core.replica_id,
             )
             core.actions.append(reply)
 
@@ -239,9 +255,9 @@
 def _proposal_problem(
     core: ReplicaCore, leader_state: LeaderState, data: bytes
 ) -> Problem | None:
-    if not core.log.configuration.is_ready:
+    if not core.log.configuration.has_enough_voters:
         voter_count = len(core.log.configuration.voters)
-        wanted_count = len(core.log.configuration.vms)
+        wanted_count = len(core.log.configuration.wanted_vms)
         return Problem(
             "too-few-voters", f"{voter_count} of {wanted_count} control VMs are voters"
         )
@@ -257,8 +273,8 @@
 
 
 def _can_change_membership(core: ReplicaCore, leader_state: LeaderState) -> bool:
-    has_committed_in_term = core.commit >= leader_state.first_index
-    return has_committed_in_term and core.commit >= core.log.configuration_index
+    has_committed_in_term = core.commit_index >= leader_state.term_start_index
+    return has_committed_in_term and core.commit_index >= core.log.configuration_index
 
 
 def _advance_membership(core: ReplicaCore, leader_state: LeaderState) -> None:
@@ -266,10 +282,10 @@
     caught_up_learners = frozenset(
         learner
         for learner in configuration.learners
-        if leader_state.progress[learner].match_index >= core.commit
+        if leader_state.progress[learner].match_index >= core.commit_index
     )
-    live_members = leader_state.live_members(core.clock)
-    join_requests = leader_state.recent_join_requests(core.clock)
+    live_members = leader_state.live_members(core.steady_now)
+    join_requests = leader_state.recent_join_requests(core.steady_now)
     view = MembershipView(
         core.replica_id, join_requests, live_members, caught_up_learners
     )
--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -16,17 +16,17 @@
     Action,
     ChangeMembership,
     Event,
-    HandOver,
-    Outcome,
+    MessageReceived,
     Persisted,
     PersistFailed,
     Propose,
     Read,
-    Received,
     Reply,
+    RequestOutcome,
     Role,
     SnapshotTaken,
     Tick,
+    TransferLeadership,
 )
 from kumquatmux_agreement.messages import (
     AppendReply,
@@ -51,8 +51,8 @@
     """Replica of the log.
 
     The caller performs the actions in order and reports the result of each
-    ``Persist``. Events must arrive at least every ``clock_gap_s`` seconds, ``Tick`` if
-    there is no other.
+    ``Persist``. Events must arrive at least every ``max_event_gap_s`` seconds, ``Tick``
+    if there is no other.
     """
 
     def __init__(
@@ -88,16 +88,16 @@
         """Return the replica's status for operators."""
         core = self.core
         configuration = core.log.configuration
-        leader_state = core.leadership
+        leader_state = core.leader_state
         voting_vms = sorted(voter.vm for voter in configuration.voters)
-        is_configuration_committed = core.commit >= core.log.configuration_index
+        is_configuration_committed = core.commit_index >= core.log.configuration_index
         is_whole = is_configuration_committed and voting_vms == sorted(
-            configuration.vms
+            configuration.wanted_vms
         )
         live_members: tuple[ReplicaId, ...] = ()
         has_lease = False
         if leader_state is not None:
-            live_members = tuple(sorted(leader_state.live_members(core.clock)))
+            live_members = tuple(sorted(leader_state.live_members(core.steady_now)))
             has_lease = (
                 leader_state.lease_expires_at(configuration, core.now) > core.now
             )
@@ -105,14 +105,14 @@
             lagging_members = [
                 progress
                 for progress in member_progress
-                if progress.match_index < core.commit
+                if progress.match_index < core.commit_index
             ]
             is_whole = is_whole and not lagging_members
         return ReplicaStatus(
             core.role,
             core.term,
             core.leader,
-            core.commit,
+            core.commit_index,
             core.log.last_index,
             core.log.snapshot.log_index,
             configuration,
@@ -128,45 +128,45 @@
     @_handle_event.register
     def _(self, event: Tick) -> None:
         core = self.core
-        if core.leadership is not None:
-            leading.tick(core, core.leadership)
+        if core.leader_state is not None:
+            leading.tick(core, core.leader_state)
             return
         configuration = core.log.configuration
-        is_election_due = core.clock >= core.election_deadline
+        is_election_due = core.steady_now >= core.election_deadline
         is_sole_voter = (
             configuration.voters == (core.replica_id,) and core.election is None
         )
         if core.can_start_election and (is_election_due or is_sole_voter):
             voting.start_pre_vote(core)
-        if self._should_request_join() and core.clock >= core.next_join_request_at:
+        if self._should_request_join() and core.steady_now >= core.next_join_request_at:
             self._send_join_requests()
 
     @_handle_event.register
     def _(self, event: Propose) -> None:
-        if self.core.leadership is None:
+        if self.core.leader_state is None:
             self._refuse(event, "not-leader", "this replica is not the leader")
             return
-        leading.propose(self.core, self.core.leadership, event.data, event.token)
+        leading.propose(self.core, self.core.leader_state, event.data, event.token)
 
     @_handle_event.register
     def _(self, event: Read) -> None:
-        if self.core.leadership is None:
+        if self.core.leader_state is None:
             self._refuse(event, "not-leader", "this replica is not the leader")
             return
-        leading.answer_read(self.core, self.core.leadership, event.token)
+        leading.answer_read(self.core, self.core.leader_state, event.token)
 
     @_handle_event.register
     def _(self, event: ChangeMembership) -> None:
-        leader_state = self.core.leadership
+        leader_state = self.core.leader_state
         if leader_state is None:
             self._refuse(event, "not-leader", "this replica is not the leader")
             return
         leading.change_membership(self.core, leader_state, event.vms, event.token)
 
     @_handle_event.register
-    def _(self, event: HandOver) -> None:
-        if self.core.leadership is not None:
-            voting.transfer_leadership(self.core, self.core.leadership)
+    def _(self, event: TransferLeadership) -> None:
+        if self.core.leader_state is not None:
+            voting.transfer_leadership(self.core, self.core.leader_state)
 
     @_handle_event.register
     def _(self, event: Persisted) -> None:
@@ -188,7 +188,7 @@
         if event.log_index <= core.log.snapshot.log_index:
             return
         term = core.log.term_at(event.log_index)
-        if term is None or event.log_index > core.commit:
+        if term is None or event.log_index > core.commit_index:
             raise AssertionError(
                 f"no committed entry at snapshot index {event.log_index}"
             )
@@ -198,7 +198,7 @@
         core.persist(snapshot=snapshot)
 
     @_handle_event.register
-    def _(self, event: Received) -> None:
+    def _(self, event: MessageReceived) -> None:
         message = event.message
         if isinstance(message, JoinRequest):
             self._handle_message(message)
@@ -245,11 +245,11 @@
 
     @_handle_message.register
     def _(self, message: JoinRequest) -> None:
-        leader_state = self.core.leadership
+        leader_state = self.core.leader_state
         if leader_state is None:
             return
         if message.cluster in (self.core.cluster, self.core.settings.cluster):
-            leader_state.join_requests[message.sender] = self.core.clock
+            leader_state.join_requests[message.sender] = self.core.steady_now
         else:
             log_decision(
                 "agreement-other-cluster",
@@ -272,19 +272,19 @@
         kept, up to ``MAX_RETAINED_COMPACTIONS`` compaction intervals.
         """
         settings = self.core.settings
-        leader_state = self.core.leadership
+        leader_state = self.core.leader_state
         oldest_snapshot_index = (
-            leader_state.oldest_sent_snapshot_index(self.core.clock)
+            leader_state.oldest_sent_snapshot_index(self.core.steady_now)
             if leader_state
             else None
         )
         if oldest_snapshot_index is None:
-            return settings.keep_entries
+            return settings.retained_entries
         needed_entries = min(
             snapshot_index - oldest_snapshot_index,
-            MAX_RETAINED_COMPACTIONS * settings.snapshot_entries,
+            MAX_RETAINED_COMPACTIONS * settings.snapshot_interval_entries,
         )
-        return max(settings.keep_entries, needed_entries)
+        return max(settings.retained_entries, needed_entries)
 
     def _should_request_join(self) -> bool:
         """Return whether the replica is an outsider or hears from no leader.
@@ -293,13 +293,15 @@
         a member may never have been committed.
         """
         core = self.core
-        since_contact_s = core.clock - core.heard_at
+        since_contact_s = core.steady_now - core.last_leader_contact_at
         has_no_leader = since_contact_s >= core.settings.election_timeout_s
-        return core.leadership is None and (has_no_leader or core.role == Role.OUTSIDER)
+        return core.leader_state is None and (
+            has_no_leader or core.role == Role.OUTSIDER
+        )
 
     def _send_join_requests(self) -> None:
         core = self.core
-        core.next_join_request_at = core.clock + core.settings.join_period_s
+        core.next_join_request_at = core.steady_now + core.settings.join_period_s
         for vm in core.settings.peers:
             core.send(JoinRequest(core.cluster, core.replica_id), vm)
 
@@ -307,5 +309,5 @@
         if isinstance(event, Propose | Read | ChangeMembership):
             problem = Problem(code, detail)
             leader = self.core.leader
-            reply = Reply(event.token, Outcome.REFUSED, 0, problem, leader)
+            reply = Reply(event.token, RequestOutcome.REFUSED, 0, problem, leader)
             self.core.actions.append(reply)
--- a/libs/agreement/src/kumquatmux_agreement/settings.py
+++ b/libs/agreement/src/kumquatmux_agreement/settings.py
@@ -14,7 +14,7 @@
     Attributes:
         cluster: Name of the cluster. Messages of other clusters are dropped, including
             those of a cluster that was founded again under the same name.
-        replica: Identity of this replica.
+        replica_id: Identity of this replica.
         peers: VMs that get join requests while no leader is known.
         heartbeat_s: Interval between a leader's heartbeats, in seconds.
         election_timeout_s: Minimum time without a leader before an election, in
@@ -22,14 +22,16 @@
             time of a message from a leader, except in a leadership transfer.
         start_timeout_s: Minimum time after startup before a replica starts an election
             or votes, in seconds. It may be less than the election timeout only if
-            leaders have no read lease, that is, with a ``lease_share`` of 0.
-        lease_share: Fraction of the election timeout for which a leader answers reads
-            without contacting a quorum. The rest is a margin for clock drift.
-        clock_gap_s: Maximum time between two events, in seconds. A longer one is
+            leaders have no read lease, that is, with a ``lease_fraction`` of 0.
+        lease_fraction: Fraction of the election timeout for which a leader answers
+            reads without contacting a quorum. The rest is a margin for clock drift.
+        max_event_gap_s: Maximum time between two events, in seconds. A longer one is
             treated as a clock jump or a paused process.
         join_period_s: Interval between join requests, in seconds.
-        snapshot_entries: Number of committed entries between two log compactions.
-        keep_entries: Number of entries retained before a snapshot for slow followers.
+        snapshot_interval_entries: Number of committed entries between two log
+            compactions.
+        retained_entries: Number of entries retained before a snapshot for slow
+            followers.
         batch_bytes: Approximate maximum size of one message's entries, in bytes.
         window_entries: Maximum number of entries sent ahead of a member's
             acknowledgement.
@@ -39,16 +41,16 @@
     """
 
     cluster: str
-    replica: ReplicaId
+    replica_id: ReplicaId
     peers: tuple[VmId, ...] = ()
     heartbeat_s: float = 0.5
     election_timeout_s: float = 2.0
     start_timeout_s: float = 2.0
-    lease_share: float = 0.6
-    clock_gap_s: float = 0.4
+    lease_fraction: float = 0.6
+    max_event_gap_s: float = 0.4
     join_period_s: float = 1.0
-    snapshot_entries: int = 1024
-    keep_entries: int = 128
+    snapshot_interval_entries: int = 1024
+    retained_entries: int = 128
     batch_bytes: int = 262_144
     window_entries: int = 256
     chunk_bytes: int = 262_144
--- a/libs/agreement/tests/test_replica.py
+++ b/libs/agreement/tests/test_replica.py
@@ -18,23 +18,23 @@
 from kumquatmux_agreement.events import (
     Apply,
     ChangeMembership,
-    HandOver,
-    Outcome,
+    MessageReceived,
     Persist,
     Persisted,
     PersistFailed,
     Propose,
     Read,
-    Received,
     Reply,
+    RequestOutcome,
     Role,
     Send,
     SnapshotTaken,
     Tick,
+    TransferLeadership,
 )
 from kumquatmux_agreement.messages import (
+    MESSAGE_REGISTRY,
     MESSAGE_TYPES,
-    MESSAGES,
     AppendReply,
     AppendRequest,
     JoinRequest,
@@ -108,7 +108,7 @@
         self, sender, *, round=None, log_index=None, is_matched=True
     ):
         core = self.replica.core
-        round_number = core.leadership.round if round is None else round
+        round_number = core.leader_state.round if round is None else round
         acknowledged_index = core.log.last_index if log_index is None else log_index
         reply = AppendReply(
             "lab",
@@ -119,7 +119,7 @@
             acknowledged_index,
             round_number,
         )
-        return self.handle(Received(reply))
+        return self.handle(MessageReceived(reply))
 
 
 def make_leader(durable_state=None, **settings):
@@ -128,9 +128,9 @@
     driver.run_ticks(4.5)
     assert driver.role() == Role.CANDIDATE
     term = driver.replica.core.term
-    driver.handle(Received(VoteReply("lab", B, A, term + 1, True, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, term + 1, True, True)))
     driver.confirm_persists()
-    driver.handle(Received(VoteReply("lab", B, A, term + 1, False, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, term + 1, False, True)))
     driver.confirm_persists()
     assert driver.role() == Role.LEADER
     driver.receive_append_reply(B)
@@ -179,12 +179,12 @@
     }
     assert set(messages_by_type) == set(MESSAGE_TYPES.values())
     for message in messages_by_type.values():
-        assert MESSAGES.decode(MESSAGES.encode(message)).ok == message
+        assert MESSAGE_REGISTRY.decode(MESSAGE_REGISTRY.encode(message)).ok == message
 
 
 def test_follower_acknowledges_only_persisted_entries():
     follower = ReplicaDriver()
-    follower.handle(Received(append_request(entries=(data_entry(1, 2),))))
+    follower.handle(MessageReceived(append_request(entries=(data_entry(1, 2),))))
     assert follower.sent_messages(AppendReply) == []
     follower.confirm_persists()
     assert follower.sent_messages(AppendReply)[0].log_index == 1
@@ -193,7 +193,7 @@
 def test_vote_is_granted_only_once_it_is_persisted():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
-    voter.handle(Received(vote_request()))
+    voter.handle(MessageReceived(vote_request()))
     assert voter.sent_messages(VoteReply) == []
     voter.confirm_persists()
     assert voter.sent_messages(VoteReply)[0].is_granted
@@ -202,7 +202,7 @@
 def test_restarted_voter_keeps_its_vote():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
-    voter.handle(Received(vote_request(sender=B)))
+    voter.handle(MessageReceived(vote_request(sender=B)))
     voter.confirm_persists()
     saved_votes = [
         action.vote
@@ -213,7 +213,7 @@
         durable_state=make_durable_state()._replace(vote=saved_votes[-1])
     )
     restarted_voter.run_ticks(2.5)
-    restarted_voter.handle(Received(vote_request(sender=C)))
+    restarted_voter.handle(MessageReceived(vote_request(sender=C)))
     restarted_voter.confirm_persists()
     assert not restarted_voter.sent_messages(VoteReply)[0].is_granted
 
@@ -262,7 +262,7 @@
     voter.run_ticks(wait_s)
     voter.confirm_persists()
     voter.actions.clear()
-    voter.handle(Received(message))
+    voter.handle(MessageReceived(message))
     voter.confirm_persists()
     assert [reply.is_granted for reply in voter.sent_messages(VoteReply)] == [
         is_granted
@@ -272,8 +272,8 @@
 def test_voter_refuses_while_it_hears_from_a_leader():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
-    voter.handle(Received(append_request()))
-    voter.handle(Received(vote_request(term=7, sender=C)))
+    voter.handle(MessageReceived(append_request()))
+    voter.handle(MessageReceived(vote_request(term=7, sender=C)))
     voter.confirm_persists()
     assert not voter.sent_messages(VoteReply)[-1].is_granted
     assert voter.replica.core.term == 2
@@ -282,9 +282,9 @@
 def test_clock_jump_does_not_end_the_vote_refusal_early():
     voter = ReplicaDriver()
     voter.run_ticks(2.5)
-    voter.handle(Received(append_request()))
+    voter.handle(MessageReceived(append_request()))
     voter.now += 3600
-    voter.handle(Received(vote_request(term=7, sender=C)))
+    voter.handle(MessageReceived(vote_request(term=7, sender=C)))
     assert voter.replica.core.term == 2
 
 
@@ -301,7 +301,7 @@
     replica = ReplicaDriver()
     replica.run_ticks(2.5)
     replica.actions.clear()
-    assert replica.handle(Received(message)) == []
+    assert replica.handle(MessageReceived(message)) == []
 
 
 @pytest.mark.parametrize(
@@ -317,7 +317,7 @@
         )
     )
     driver.run_ticks(2.5)
-    driver.handle(Received(append_request(cluster=message_cluster)))
+    driver.handle(MessageReceived(append_request(cluster=message_cluster)))
     assert (driver.replica.core.term == 2) == is_accepted
 
 
@@ -325,7 +325,7 @@
     candidate = ReplicaDriver()
     candidate.run_ticks(4.5)
     replacement = ReplicaId("b", "2")
-    candidate.handle(Received(VoteReply("lab", replacement, A, 2, True, True)))
+    candidate.handle(MessageReceived(VoteReply("lab", replacement, A, 2, True, True)))
     assert candidate.replica.core.election.is_pre_vote
 
 
@@ -335,7 +335,7 @@
     driver.receive_append_reply(B)
     assert driver.replies() == []
     driver.confirm_persists()
-    assert driver.replies()[0].outcome == Outcome.COMMITTED
+    assert driver.replies()[0].outcome == RequestOutcome.COMMITTED
 
 
 def test_two_followers_commit_before_the_leader_has_persisted():
@@ -343,22 +343,22 @@
     driver.handle(Propose(b"x", "t"))
     driver.receive_append_reply(B)
     driver.receive_append_reply(C)
-    assert driver.replies()[0].outcome == Outcome.COMMITTED
+    assert driver.replies()[0].outcome == RequestOutcome.COMMITTED
 
 
 def test_earlier_term_entry_is_committed_only_with_current_term_entry():
     durable_state = make_durable_state(1, None, [data_entry(1, 1)])
     driver = ReplicaDriver(durable_state=durable_state)
     driver.run_ticks(4.5)
-    driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, True, True)))
     driver.confirm_persists()
-    driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, False, True)))
     driver.confirm_persists()
     driver.receive_append_reply(B, log_index=1)
     driver.receive_append_reply(C, log_index=1)
-    assert driver.replica.core.commit == 0
+    assert driver.replica.core.commit_index == 0
     driver.receive_append_reply(B, log_index=2)
-    assert driver.replica.core.commit == 2
+    assert driver.replica.core.commit_index == 2
 
 
 def test_isolated_leader_steps_down_and_refuses_proposals():
@@ -368,7 +368,10 @@
     driver.run_ticks(2.5)
     driver.handle(Propose(b"x", "after"))
     outcomes = {reply.token: reply.outcome for reply in driver.replies()}
-    assert outcomes == {"before": Outcome.UNKNOWN, "after": Outcome.REFUSED}
+    assert outcomes == {
+        "before": RequestOutcome.UNKNOWN,
+        "after": RequestOutcome.REFUSED,
+    }
     assert driver.role() != Role.LEADER
 
 
@@ -383,10 +386,12 @@
         driver.replica.core.log.term_at(last_index - 1),
     )
     driver.handle(
-        Received(append_request(9, previous_position, (winning_entry,), last_index))
+        MessageReceived(
+            append_request(9, previous_position, (winning_entry,), last_index)
+        )
     )
     driver.confirm_persists()
-    assert driver.replies()[0].outcome == Outcome.UNKNOWN
+    assert driver.replies()[0].outcome == RequestOutcome.UNKNOWN
     apply_actions = [action for action in driver.actions if isinstance(action, Apply)]
     assert [entry.data for entry in apply_actions[-1].entries] == [b"won"]
 
@@ -394,7 +399,7 @@
 @pytest.mark.parametrize(
     ("name", "since_reply_s", "jump_s", "outcomes"),
     [
-        ("lease valid", 0.5, 0.0, [Outcome.CURRENT]),
+        ("lease valid", 0.5, 0.0, [RequestOutcome.CURRENT]),
         ("lease expired", 1.5, 0.0, []),
         ("clock jumped back", 0.1, -5.0, []),
         ("clock jumped forward", 0.1, 5.0, []),
@@ -403,7 +408,7 @@
 def test_read_needs_a_lease_or_an_answered_round(name, since_reply_s, jump_s, outcomes):
     driver = make_leader()
     driver.handle(Tick(), 0.1)
-    driver.replica.core.leadership.next_heartbeat_at = 0
+    driver.replica.core.leader_state.next_heartbeat_at = 0
     driver.handle(Tick(), 0.1)
     driver.receive_append_reply(B)
     driver.run_ticks(since_reply_s)
@@ -412,13 +417,15 @@
     driver.handle(Read("r"))
     assert [reply.outcome for reply in driver.replies()] == outcomes, name
     driver.receive_append_reply(C)
-    assert [reply.outcome for reply in driver.replies()] == [Outcome.CURRENT], name
+    assert [reply.outcome for reply in driver.replies()] == [RequestOutcome.CURRENT], (
+        name
+    )
 
 
 def test_reply_to_an_earlier_round_does_not_confirm_a_read():
     driver = make_leader()
     driver.run_ticks(1.5)
-    earlier_round = driver.replica.core.leadership.round
+    earlier_round = driver.replica.core.leader_state.round
     driver.handle(Read("r"))
     driver.receive_append_reply(B, round=earlier_round)
     assert driver.replies() == []
@@ -427,9 +434,9 @@
 def test_new_leader_refuses_reads_before_its_first_commit():
     driver = ReplicaDriver()
     driver.run_ticks(4.5)
-    driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, True, True)))
     driver.confirm_persists()
-    driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, False, True)))
     driver.handle(Read("r"))
     assert driver.replies()[0].problem.code == "not-ready"
 
@@ -439,12 +446,12 @@
     driver.handle(Propose(b"x", "t"))
     problem = Problem("disk-full", "the disk is full")
     driver.handle(PersistFailed(driver.pending_persists.pop(), problem))
-    assert driver.replies()[0].outcome == Outcome.UNKNOWN
+    assert driver.replies()[0].outcome == RequestOutcome.UNKNOWN
     assert driver.role() == Role.FAILED
     driver.actions.clear()
     driver.run_ticks(9)
-    driver.handle(Received(vote_request(term=9)))
-    driver.handle(Received(append_request(9)))
+    driver.handle(MessageReceived(vote_request(term=9)))
+    driver.handle(MessageReceived(append_request(9)))
     assert driver.actions == []
     driver.handle(Propose(b"x", "u"))
     assert driver.replies()[0].problem.code == "replica-failed"
@@ -515,7 +522,7 @@
     chunks = [(0, b"ab"), (0, b"ab"), (4, b"ef"), (2, b"cd"), (4, b"ef")]
     for offset, data in chunks:
         chunk = SnapshotChunk("lab", B, A, 2, 9, 1, THREE_VOTERS, offset, 6, data, 1)
-        follower.handle(Received(chunk))
+        follower.handle(MessageReceived(chunk))
     follower.confirm_persists()
     assert [
         reply.received_bytes for reply in follower.sent_messages(SnapshotReply)
@@ -537,9 +544,9 @@
     )
     driver = ReplicaDriver(durable_state=durable_state)
     driver.run_ticks(4.5)
-    driver.handle(Received(VoteReply("lab", B, A, 2, True, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, True, True)))
     driver.confirm_persists()
-    driver.handle(Received(VoteReply("lab", B, A, 2, False, True)))
+    driver.handle(MessageReceived(VoteReply("lab", B, A, 2, False, True)))
     driver.confirm_persists()
     for _ in range(30):
         driver.receive_append_reply(B)
@@ -547,24 +554,24 @@
         driver.run_ticks(0.1)
     status = driver.replica.status()
     assert (status.voting_vms, status.joining_vms) == ({"a", "b"}, {"c"})
-    assert not status.is_whole
+    assert not status.is_fully_replicated
 
 
-def test_status_is_whole_only_once_the_configuration_is_committed():
+def test_status_is_fully_replicated_only_once_the_configuration_is_committed():
     driver = make_leader()
-    assert driver.replica.status().is_whole
+    assert driver.replica.status().is_fully_replicated
     driver.handle(ChangeMembership(VMS, "t"))
     driver.confirm_persists()
-    assert not driver.replica.status().is_whole
+    assert not driver.replica.status().is_fully_replicated
     driver.receive_append_reply(B)
     driver.receive_append_reply(C)
-    assert driver.replica.status().is_whole
+    assert driver.replica.status().is_fully_replicated
 
 
 def test_leader_ignores_its_own_earlier_join_request():
     driver = make_leader()
     former_configuration = driver.replica.core.log.configuration
-    driver.handle(Received(JoinRequest("lab", A)))
+    driver.handle(MessageReceived(JoinRequest("lab", A)))
     driver.run_ticks(0.5)
     assert driver.replica.core.log.configuration == former_configuration
 
@@ -573,19 +580,19 @@
     durable_state = make_durable_state()._replace(
         snapshot=Snapshot(5, 1, THREE_VOTERS, b"abcdef")
     )
-    driver = make_leader(durable_state=durable_state, chunk_bytes=2, keep_entries=0)
+    driver = make_leader(durable_state=durable_state, chunk_bytes=2, retained_entries=0)
     driver.receive_append_reply(C, log_index=1, is_matched=False)
     driver.handle(Propose(b"x", "t"))
     driver.confirm_persists()
     driver.receive_append_reply(B)
-    commit_index = driver.replica.core.commit
+    commit_index = driver.replica.core.commit_index
     driver.handle(SnapshotTaken(commit_index, b"another"))
     driver.confirm_persists()
     term = driver.replica.core.term
     for received_bytes in (2, 4):
-        round_number = driver.replica.core.leadership.round
+        round_number = driver.replica.core.leader_state.round
         reply = SnapshotReply("lab", C, A, term, 5, received_bytes, round_number)
-        driver.handle(Received(reply))
+        driver.handle(MessageReceived(reply))
     chunks = driver.sent_messages(SnapshotChunk)
     assert [(chunk.log_index, chunk.offset) for chunk in chunks] == [
         (5, 0),
@@ -605,12 +612,12 @@
         driver.receive_append_reply(C)
     requests = driver.sent_messages(AppendRequest)
     assert len(requests) <= 2 * 2 * 10 + 2
-    assert max(len(MESSAGES.encode(request)) for request in requests) < 100
+    assert max(len(MESSAGE_REGISTRY.encode(request)) for request in requests) < 100
 
 
 def test_stopping_leader_transfers_leadership_to_a_voter_with_its_log():
     driver = make_leader()
-    driver.handle(HandOver())
+    driver.handle(TransferLeadership())
     requests = driver.sent_messages(StandNow)
     assert len(requests) == 1
     assert requests[0].to in (B, C)
@@ -619,14 +626,14 @@
 def test_leadership_is_not_transferred_to_a_voter_that_lacks_an_entry():
     driver = make_leader()
     driver.handle(Propose(b"x", "t"))
-    driver.handle(HandOver())
+    driver.handle(TransferLeadership())
     assert driver.sent_messages(StandNow) == []
 
 
 def test_voter_starts_an_election_at_once_at_the_leaders_request():
     driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=2))
-    driver.handle(Received(append_request(sender=A, to=B)))
-    driver.handle(Received(StandNow("lab", A, B, 2)))
+    driver.handle(MessageReceived(append_request(sender=A, to=B)))
+    driver.handle(MessageReceived(StandNow("lab", A, B, 2)))
     driver.confirm_persists()
     requests = driver.sent_messages(VoteRequest)
     assert {request.term for request in requests} == {3}
@@ -638,7 +645,7 @@
 
 def test_stand_now_of_an_earlier_term_is_ignored():
     driver = ReplicaDriver(replica_id=B, durable_state=make_durable_state(term=3))
-    assert driver.handle(Received(StandNow("lab", A, B, 2))) == []
+    assert driver.handle(MessageReceived(StandNow("lab", A, B, 2))) == []
 
 
 @pytest.mark.parametrize("is_leadership_transfer", [False, True])
@@ -646,17 +653,17 @@
     is_leadership_transfer,
 ):
     voter = ReplicaDriver(replica_id=C, durable_state=make_durable_state(term=2))
-    voter.handle(Received(append_request(sender=A, to=C)))
+    voter.handle(MessageReceived(append_request(sender=A, to=C)))
     request = vote_request(term=3, sender=B, to=C)._replace(
         is_leadership_transfer=is_leadership_transfer
     )
-    voter.handle(Received(request))
+    voter.handle(MessageReceived(request))
     voter.confirm_persists()
     assert voter.sent_messages(VoteReply)[-1].is_granted == is_leadership_transfer
 
 
 def test_replica_without_leases_starts_its_pre_vote_early():
-    driver = ReplicaDriver(lease_share=0.0, start_timeout_s=0.15)
+    driver = ReplicaDriver(lease_fraction=0.0, start_timeout_s=0.15)
     driver.handle(Tick())
     assert driver.role() == Role.FOLLOWER
     driver.handle(Tick(), delay_s=0.31)
@@ -672,13 +679,20 @@
     retry_delays = set()
     for seed in range(20):
         settings = ReplicaSettings(
-            "lab", A, VMS, lease_share=0.0, start_timeout_s=0.08, election_timeout_s=0.6
+            "lab",
+            A,
+            VMS,
+            lease_fraction=0.0,
+            start_timeout_s=0.08,
+            election_timeout_s=0.6,
         )
         replica = Replica(settings, make_durable_state(), Random(seed))
         replica.handle(Tick(), 100.0)
         replica.handle(Tick(), 100.2)
         vote_reply = VoteReply("lab", B, A, replica.core.term + 1, True, True)
-        replica.handle(Received(vote_reply), 100.21)
-        retry_delays.add(round(replica.core.election_deadline - replica.core.clock, 2))
+        replica.handle(MessageReceived(vote_reply), 100.21)
+        retry_delays.add(
+            round(replica.core.election_deadline - replica.core.steady_now, 2)
+        )
     assert len(retry_delays) > 10
     assert max(retry_delays) - min(retry_delays) > 0.3
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -17,19 +17,19 @@
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_registry.table import ServerTable
 from kumquatmux_tokens.packets import (
-    Ask,
     Decision,
     Drop,
     Forward,
-    Head,
-    Hold,
+    HoldForServer,
+    HoldForToken,
+    PacketHeader,
+    RequestPlacement,
     Reset,
-    Wait,
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
-from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.waiting import Held
+from kumquatmux_tokens.settings import TokenRouterSettings
+from kumquatmux_tokens.waiting import BufferedPacket
 from kumquatmux_tokens.work import LoadShare
 
 POLL_S = 0.5
@@ -81,7 +81,7 @@
         self.settings = settings
         self.format = form
         self.table = ServerTable()
-        tokens = TokenSettings(settings.vm, settings.zone)
+        tokens = TokenRouterSettings(settings.vm, settings.zone)
         self.router = TokenRouter(tokens, random, now)
         self.follower = Follower(
             FollowerSettings(settings.vm, settings.zone, False, settings.seeds)
@@ -101,11 +101,13 @@
         if self.has_served:
             return True
         is_cut_off = now - self.started_at > CUT_OFF_S
-        has_document = self.router.routes.number > 0
+        has_document = self.router.route_table.document_number > 0
         if has_document and (self.follower.is_fed(now) or is_cut_off):
             self.has_served = True
             log_decision(
-                "ready", document=self.router.routes.number, cut_off=is_cut_off
+                "ready",
+                document=self.router.route_table.document_number,
+                cut_off=is_cut_off,
             )
         return self.has_served
 
@@ -126,11 +128,11 @@
         effects: list[Effect] = []
         if now >= self.sweep_at:
             self.sweep_at = now + POLL_S
-            self.router.sweep(now)
+            self.router.remove_expired(now)
             self._note_feed(now)
             self._note_zones(now)
         if now >= self.poll_at:
-            is_searching = not self.router.routes.number
+            is_searching = not self.router.route_table.document_number
             self.poll_at = now + (SEARCH_S if is_searching else POLL_S)
             effects += [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
         return effects + self._share(now) + self._try_waiting(now)
@@ -141,79 +143,91 @@
         self.follower.is_stopping = True
         return [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
 
-    def _route(self, head: Head, data: bytes, now: float) -> list[Effect]:
-        decision = self.router.handle(head, now)
+    def _route(self, head: PacketHeader, data: bytes, now: float) -> list[Effect]:
+        decision = self.router.route_packet(head, now)
         return self._carry_out(decision, head, data, now)
 
     @singledispatchmethod
     def _carry_out(
-        self, decision: Decision, head: Head, data: bytes, now: float
+        self, decision: Decision, head: PacketHeader, data: bytes, now: float
     ) -> list[Effect]:
         raise TypeError(f"unknown decision {type(decision).__name__}")
 
     @_carry_out.register
-    def _(self, decision: Forward, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: Forward, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts["packets.forwarded"] += 1
         packet = self.format.to_server(data, decision.server, decision.token)
         return [Datagram(packet, decision.server.report.endpoint)]
 
     @_carry_out.register
-    def _(self, decision: Reset, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: Reset, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts[f"resets.{decision.reason}"] += 1
         log_decision(
             "flow-reset",
-            flow=head.flow.hex(),
+            flow=head.flow_key.hex(),
             reason=decision.reason,
-            opening=head.is_opening,
+            opening=head.is_syn,
             token=head.token,
-            document=self.router.routes.number,
+            document=self.router.route_table.document_number,
         )
-        reset = self.format.reset_for(data, decision.sequence)
+        reset = self.format.reset_for(data, decision.sequence_number)
         target = (self.format.caller_ip(data), self.settings.packets.port)
         return [Datagram(reset, target)]
 
     @_carry_out.register
-    def _(self, decision: Drop, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: Drop, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts[f"drops.{decision.reason}"] += 1
         log_decision(
             "packet-dropped",
-            flow=head.flow.hex(),
+            flow=head.flow_key.hex(),
             reason=decision.reason,
-            copy=head.copy,
-            document=self.router.routes.number,
+            copy=head.retransmission_count,
+            document=self.router.route_table.document_number,
         )
         return []
 
     @_carry_out.register
-    def _(self, decision: Wait, head: Head, data: bytes, now: float) -> list[Effect]:
-        is_new = head.flow not in self.router.waiting.by_flow
-        if not self.router.waiting.put(head, data, now):
+    def _(
+        self, decision: HoldForServer, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
+        is_new = head.flow_key not in self.router.syn_buffer.by_flow
+        if not self.router.syn_buffer.add(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
         elif is_new:
             self.counts[f"openings.{decision.reason}"] += 1
             log_decision(
                 "opening-waits",
-                flow=head.flow.hex(),
+                flow=head.flow_key.hex(),
                 reason=decision.reason,
-                copy=head.copy,
-                document=self.router.routes.number,
+                copy=head.retransmission_count,
+                document=self.router.route_table.document_number,
             )
         return []
 
     @_carry_out.register
-    def _(self, decision: Ask, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: RequestPlacement, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts["openings.asked"] += 1
-        if not self.router.waiting.put(head, data, now):
+        if not self.router.syn_buffer.add(head, data, now):
             self.counts["drops.too-many-waiting"] += 1
             return []
-        return [Sent(decision.vm, decision.question)]
+        return [Sent(decision.coordinator, decision.request)]
 
     @_carry_out.register
-    def _(self, decision: Hold, head: Head, data: bytes, now: float) -> list[Effect]:
+    def _(
+        self, decision: HoldForToken, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
         self.counts["packets.held"] += 1
-        if not self.router.held.put(head, data, now):
+        if not self.router.token_buffer.add(head, data, now):
             return []
-        log_decision("token-asked", token=decision.token, flow=head.flow.hex())
+        log_decision("token-asked", token=decision.token, flow=head.flow_key.hex())
         question = TokenQuestion(self.settings.vm, decision.token)
         asked = {*self.follower.peers, *self.follower.sources} - {self.settings.vm}
         return [Sent(vm, question) for vm in sorted(asked)]
@@ -238,19 +252,21 @@
 
     @_take.register
     def _(self, message: LoadShare, now: float) -> list[Effect]:
-        self.router.load.zone.take(message, now)
+        self.router.load_tracker.peer_load.apply_report(message, now)
         return []
 
     @_take.register
     def _(self, message: PlaceQuestion, now: float) -> list[Effect]:
-        return [Sent(message.sender, self.router.place_for(message, now))]
+        return [
+            Sent(message.sender, self.router.answer_placement_request(message, now))
+        ]
 
     @_take.register
     def _(self, message: PlaceAnswer, now: float) -> list[Effect]:
-        held = self.router.take_answer(message, now)
+        held = self.router.process_placement_answer(message, now)
         if held is None:
             return []
-        decision = self.router.place_as(held.head, message, now)
+        decision = self.router.apply_placement_answer(held.header, message, now)
         effects = self._release(decision, held, now)
         return effects + self._try_waiting(now)
 
@@ -270,41 +286,43 @@
         if routes.is_error():
             log_decision("document-unread", problem=routes.error)
             return
-        self.router.install(routes.ok, now)
+        self.router.install_routes(routes.ok, now)
 
     def _merge(self, records: tuple[ServerRecord, ...], now: float) -> list[Effect]:
         effects: list[Effect] = []
         for record in records:
             for changed in self.table.merge(record, now):
-                for held in self.router.learn(changed, now):
-                    effects += self._route(held.head, held.data, now)
+                for held in self.router.store_record(changed, now):
+                    effects += self._route(held.header, held.data, now)
         return effects
 
     def _try_waiting(self, now: float) -> list[Effect]:
         """Place the opening packets that wait, as far as there are servers now."""
         effects: list[Effect] = []
-        for held in self.router.waiting.due(now):
-            decision = self.router.handle(held.head, now)
+        for held in self.router.syn_buffer.unexpired_packets(now):
+            decision = self.router.route_packet(held.header, now)
             effects += self._release(decision, held, now)
         return effects
 
-    def _release(self, decision: Decision, held: Held, now: float) -> list[Effect]:
+    def _release(
+        self, decision: Decision, held: BufferedPacket, now: float
+    ) -> list[Effect]:
         """Carry out a decision about an opening packet that waits."""
-        if isinstance(decision, Wait):
+        if isinstance(decision, HoldForServer):
             return []
-        if not isinstance(decision, Ask):
-            self.router.waiting.remove(held.head.flow)
-        return self._carry_out(decision, held.head, held.data, now)
+        if not isinstance(decision, RequestPlacement):
+            self.router.syn_buffer.remove(held.header.flow_key)
+        return self._carry_out(decision, held.header, held.data, now)
 
     def _share(self, now: float) -> list[Effect]:
-        self.router.placers.set_peers(self.follower.peers)
-        return [Sent(vm, share) for vm, share in self.router.tell(now)]
+        self.router.coordinators.set_entry_vms(self.follower.peers)
+        return [Sent(vm, share) for vm, share in self.router.due_load_reports(now)]
 
     def _note_zones(self, now: float) -> None:
         silent = self.follower.silent_zones(now) - {self.settings.zone}
-        if silent != self.router.load.silent_zones:
+        if silent != self.router.load_tracker.unreachable_zones:
             log_decision("zones-silent", zones=",".join(sorted(silent)))
-        self.router.load.silent_zones = silent
+        self.router.load_tracker.unreachable_zones = silent
 
     def _note_feed(self, now: float) -> None:
         is_fed = self.follower.is_fed(now)
--- a/libs/daemons/tests/test_token_entry_zone.py
+++ b/libs/daemons/tests/test_token_entry_zone.py
@@ -14,8 +14,8 @@
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.packets import Head
-from kumquatmux_tokens.routes import Route, RouteSet, Share
+from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 
 ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
 PLACE = Endpoint("10.1.0.9", 1)
@@ -33,7 +33,7 @@
     def read_head(self, packet):
         kind, caller, token, sequence, acknowledged, length = packet.split()
         flow = int(caller).to_bytes(6) + ROUTE
-        return Head(
+        return PacketHeader(
             flow,
             ROUTE,
             int(token),
@@ -55,7 +55,7 @@
         return "100.64.0.1"
 
     def read_routes(self, content):
-        route = Route("r", ROUTE, (Share("entries", 1),))
+        route = Route("r", ROUTE, (WeightedService("entries", 1),))
         return Ok(RouteSet(1, (route,), frozenset({"entries"}), 15.0))
 
 
@@ -215,7 +215,7 @@
     zone, requests = crest(6, 10, 0.7, seed)
     zone.run(1.0)
     router = zone.cores["10.1.0.1"].router
-    placer = router.placers.placer("entries", zone.now)
+    placer = router.coordinators.coordinator_for("entries", zone.now)
     zone.dead.add(placer)
     zone.run(3.0)
     lost = {caller for caller, (vm, _) in zone.works.items() if vm == placer}
--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
@@ -30,8 +30,8 @@
 from kumquatmux_storage.memory import MemoryDisk
 from kumquatmux_storage.store import Identity, open_or_create
 from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
-from kumquatmux_tokens.packets import Head
-from kumquatmux_tokens.routes import Route, RouteSet, Share
+from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 
 MESSAGES = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES, TOKEN_MESSAGES)
 CLUSTER = "lab"
@@ -53,11 +53,11 @@
     def read_routes(self, content: bytes) -> Result[RouteSet, Problem]:
         """Return one route, so that the document counts as in force."""
         service = ServiceName("entries")
-        route = Route("r", ROUTE_ADDRESS, (Share(service, 1),))
+        route = Route("r", ROUTE_ADDRESS, (WeightedService(service, 1),))
         number = int(content.partition(b" ")[0])
         return Ok(RouteSet(number, (route,), frozenset({service}), 15.0))
 
-    def read_head(self, packet: bytes) -> Head | None:
+    def read_head(self, packet: bytes) -> PacketHeader | None:
         """Return None: no packets come in these runs."""
         return None
 
@@ -107,15 +107,15 @@
         store = opened.ok
         replica = ReplicaSettings(
             cluster=CLUSTER,
-            replica=ReplicaId(self.vm, store.identity.folder),
+            replica_id=ReplicaId(self.vm, store.identity.folder),
             peers=tuple(vm for vm in world.seeds if vm != self.vm),
             heartbeat_s=0.12,
             election_timeout_s=0.6,
             start_timeout_s=0.15,
-            lease_share=0.0,
+            lease_fraction=0.0,
             join_period_s=0.4,
-            snapshot_entries=8,
-            keep_entries=4,
+            snapshot_interval_entries=8,
+            retained_entries=4,
         )
         settings = RegistrarSettings(
             vm=self.vm,
--- a/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/settings_cluster.py
@@ -13,10 +13,10 @@
     Apply,
     Event,
     InstallSnapshot,
+    MessageReceived,
     Persist,
     Persisted,
     PersistFailed,
-    Received,
     Reply,
     Role,
     RoleChanged,
@@ -25,7 +25,7 @@
     TakeSnapshot,
     Tick,
 )
-from kumquatmux_agreement.messages import MESSAGES, Message
+from kumquatmux_agreement.messages import MESSAGE_REGISTRY, Message
 from kumquatmux_agreement.replica import Replica
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.identity import VmId
@@ -94,7 +94,7 @@
             return
         store = opened.ok
         me = ReplicaId(self.vm, store.identity.folder)
-        settings = cluster.settings._replace(replica=me)
+        settings = cluster.settings._replace(replica_id=me)
         replica = Replica(settings, store.restored, cluster.random)
         changes = ChangeLog(cluster.changelog, _no_problems)
         if store.restored.snapshot.data:
@@ -242,10 +242,12 @@
 
     def send(self, sender: VmId, to: VmId, message: Message) -> None:
         """Carry a message as bytes."""
-        data = MESSAGES.encode(message)
+        data = MESSAGE_REGISTRY.encode(message)
         node = self.nodes[to]
         self.network.carry(
-            sender, to, lambda: node.give(Received(MESSAGES.decode(data).ok))
+            sender,
+            to,
+            lambda: node.give(MessageReceived(MESSAGE_REGISTRY.decode(data).ok)),
         )
 
     def leader(self) -> Node | None:
@@ -253,7 +255,7 @@
         leaders = [
             (node.life.replica.core.term, node.vm)
             for node in self.nodes.values()
-            if node.life and node.life.replica.core.leadership
+            if node.life and node.life.replica.core.leader_state
         ]
         return self.nodes[max(leaders)[1]] if leaders else None
 
@@ -269,7 +271,11 @@
             node.life is not None and node.life.store.identity.folder == voter.folder
             for node, voter in zip(nodes, voters, strict=True)
         )
-        return status.is_whole and are_up and len(status.live) == len(voters)
+        return (
+            status.is_fully_replicated
+            and are_up
+            and len(status.live_members) == len(voters)
+        )
 
 
 def _no_problems(values: Any, previous: Any) -> list[Any]:
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -12,7 +12,7 @@
 from kumquatmux_core import rendezvous
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 
 class PlaceQuestion(NamedTuple):
@@ -88,20 +88,20 @@
         pending_requests: Unanswered placement requests by flow key.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.entry_vms: tuple[VmId, ...] = ()
         self.rankings: dict[ServiceName, list[VmId]] = {}
         self.backoffs: dict[VmId, Backoff] = {}
         self.pending_requests: dict[bytes, PendingRequest] = {}
 
-    def set_peers(self, entry_vms: tuple[VmId, ...]) -> None:
+    def set_entry_vms(self, entry_vms: tuple[VmId, ...]) -> None:
         """Set the entry VMs of the zone."""
         if entry_vms != self.entry_vms:
             self.entry_vms = entry_vms
             self.rankings.clear()
 
-    def placer(self, service: ServiceName, now: float) -> VmId:
+    def coordinator_for(self, service: ServiceName, now: float) -> VmId:
         """Return the placement coordinator of a service.
 
         A VM that recently left a request unanswered is skipped; this VM never is.
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -12,19 +12,23 @@
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import (
-    Ask,
     Decision,
     Drop,
     Forward,
-    Head,
-    Hold,
+    HoldForServer,
+    HoldForToken,
+    PacketHeader,
+    RequestPlacement,
     Reset,
-    Wait,
 )
-from kumquatmux_tokens.placers import CoordinatorSelector, PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.placers import (
+    CoordinatorSelector,
+    PlaceAnswer,
+    PlaceQuestion,
+)
 from kumquatmux_tokens.routes import RouteSet, RouteTable
-from kumquatmux_tokens.settings import TokenSettings
-from kumquatmux_tokens.waiting import Held, SynBuffer, TokenLookupBuffer
+from kumquatmux_tokens.settings import TokenRouterSettings
+from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer, TokenLookupBuffer
 from kumquatmux_tokens.work import LoadShare, OutgoingReports, ServerLoad
 
 SYN_RESET_SEQUENCE_NUMBER = 0
@@ -35,11 +39,11 @@
 
     Attributes:
         directory: Known servers by token.
-        routes: Routes in force.
-        load: Load on each server.
-        held: Packets that are buffered while their token is looked up.
-        waiting: SYN packets that are buffered until a server can take their flow.
-        placers: Selects the placement coordinator of each service.
+        route_table: Routes in force.
+        load_tracker: Load on each server.
+        token_buffer: Packets that are buffered while their token is looked up.
+        syn_buffer: SYN packets that are buffered until a server can take their flow.
+        coordinators: Selects the placement coordinator of each service.
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
         last_served_at: Time when each service last had a server for a flow.
@@ -47,37 +51,41 @@
             full.
     """
 
-    def __init__(self, settings: TokenSettings, random: Random, now: float) -> None:
+    def __init__(
+        self, settings: TokenRouterSettings, random: Random, now: float
+    ) -> None:
         self.settings = settings
         self.random = random
         self.started_at = now
         self.directory = ServerDirectory()
-        self.routes = RouteTable()
-        self.load = LoadTracker(settings)
-        self.held = TokenLookupBuffer(settings)
-        self.waiting = SynBuffer(settings)
-        self.placers = CoordinatorSelector(settings)
+        self.route_table = RouteTable()
+        self.load_tracker = LoadTracker(settings)
+        self.token_buffer = TokenLookupBuffer(settings)
+        self.syn_buffer = SynBuffer(settings)
+        self.coordinators = CoordinatorSelector(settings)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
 
-    def handle(self, header: Head, now: float) -> Decision:
+    def route_packet(self, header: PacketHeader, now: float) -> Decision:
         """Return the decision for a packet."""
-        if header.is_opening:
+        if header.is_syn:
             return self._route_syn(header, now)
         return self._route_by_token(header, now)
 
-    def install(self, routes: RouteSet, now: float) -> bool:
+    def install_routes(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        return self.routes.install(routes, now)
+        return self.route_table.install(routes, now)
 
-    def learn(self, record: ServerRecord, now: float) -> list[Held]:
+    def store_record(self, record: ServerRecord, now: float) -> list[BufferedPacket]:
         """Store a server's record; return the packets buffered for its token."""
         self.directory.store_record(record, now)
-        return self.held.pop_packets(record.token)
+        return self.token_buffer.pop_packets(record.token)
 
-    def place_for(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
+    def answer_placement_request(
+        self, question: PlaceQuestion, now: float
+    ) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
         new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
         selection = self._select_server(question.service, new_flow)
@@ -87,51 +95,55 @@
         token = selection.entry.record.token
         if selection.is_full:
             return PlaceAnswer(own_vm, question.flow_key, token, True, 0)
-        reservation = self.load.zone.reserve(question.sender, token, now)
+        reservation = self.load_tracker.peer_load.reserve(question.sender, token, now)
         return PlaceAnswer(own_vm, question.flow_key, token, False, reservation.number)
 
-    def take_answer(self, answer: PlaceAnswer, now: float) -> Held | None:
+    def process_placement_answer(
+        self, answer: PlaceAnswer, now: float
+    ) -> BufferedPacket | None:
         """Process the answer to a placement request.
 
         Returns:
             The buffered SYN packet to forward now, None if there is none or every
             server is full.
         """
-        self.placers.record_answer(answer.sender, answer.flow_key)
-        packet = self.waiting.by_flow.get(answer.flow_key)
+        self.coordinators.record_answer(answer.sender, answer.flow_key)
+        packet = self.syn_buffer.by_flow.get(answer.flow_key)
         if packet is None:
             return None
-        route = self.routes.routes.get(packet.head.route)
+        route = self.route_table.routes.get(packet.header.route_address)
         service = route.select_service(answer.flow_key) if route else ServiceName("")
         if answer.is_full:
             self.last_full_at[service] = now
             return None
         return packet
 
-    def place_as(self, header: Head, answer: PlaceAnswer, now: float) -> Decision:
+    def apply_placement_answer(
+        self, header: PacketHeader, answer: PlaceAnswer, now: float
+    ) -> Decision:
         """Return the decision for a SYN packet whose server another VM selected.
 
         If that server is unknown here or accepts no new flows, this VM selects one.
         """
-        route = self.routes.routes.get(header.route)
+        route = self.route_table.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header)
-        service = route.select_service(header.flow)
+        service = route.select_service(header.flow_key)
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_locally(header, service, now)
         self._reports_to(answer.sender).used_reservation = answer.reservation_number
         self.last_served_at[service] = now
-        self.load.record_syn(header, answer.token, now)
+        self.load_tracker.record_syn(header, answer.token, now)
         self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
-    def tell(self, now: float) -> list[tuple[VmId, LoadShare]]:
+    def due_load_reports(self, now: float) -> list[tuple[VmId, LoadShare]]:
         """Return the load reports that are due, each with its receiver."""
         loads_by_receiver = self._loads_by_receiver(now)
         due_reports = []
         for vm in loads_by_receiver.keys() | self.outgoing_reports.keys():
-            if vm not in self.placers.entry_vms:
+            if vm not in self.coordinators.entry_vms:
                 self.outgoing_reports.pop(vm, None)
                 continue
             load_report = self._reports_to(vm).next_report(
@@ -146,26 +158,31 @@
                 due_reports.append((vm, load_report))
         return due_reports
 
-    def sweep(self, now: float) -> None:
+    def remove_expired(self, now: float) -> None:
         """Remove expired flows, servers, buffered packets and placement requests."""
-        self.load.remove_expired(now)
+        self.load_tracker.remove_expired(now)
         self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
-        self.held.remove_expired(now)
-        self.placers.remove_expired(now)
+        self.token_buffer.remove_expired(now)
+        self.coordinators.remove_expired(now)
 
-    def _route_syn(self, header: Head, now: float) -> Decision:
-        route = self.routes.routes.get(header.route)
+    def _route_syn(self, header: PacketHeader, now: float) -> Decision:
+        route = self.route_table.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header)
-        service = route.select_service(header.flow)
-        flow = self.load.flows.get(header.flow)
+        service = route.select_service(header.flow_key)
+        flow = self.load_tracker.flows.get(header.flow_key)
         is_retransmission = flow is not None and not flow.is_established
         is_too_soon = (
             flow is not None
             and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
         )
-        if flow is not None and is_retransmission and header.copy and not is_too_soon:
-            if self.load.record_unanswered_syn(flow, now):
+        if (
+            flow is not None
+            and is_retransmission
+            and header.retransmission_count
+            and not is_too_soon
+        ):
+            if self.load_tracker.record_unanswered_syn(flow, now):
                 self._log_unanswered_syn(header, flow.token)
         elif flow is not None and is_retransmission:
             entry = self.directory.by_token.get(flow.token)
@@ -174,43 +191,47 @@
         tried_tokens = (
             flow.tried_tokens if flow is not None and is_retransmission else ()
         )
-        if header.flow in self.placers.pending_requests:
-            if self.placers.is_pending(header.flow, now):
-                return Wait("asked")
+        if header.flow_key in self.coordinators.pending_requests:
+            if self.coordinators.is_pending(header.flow_key, now):
+                return HoldForServer("asked")
             return self._place_locally(header, service, now)
-        coordinator = self.placers.placer(service, now)
+        coordinator = self.coordinators.coordinator_for(service, now)
         if coordinator == self.settings.vm:
             return self._place_locally(header, service, now)
         if self._is_placement_paused(service, now):
-            return Wait("no-slot")
-        self.placers.record_request(coordinator, header.flow, now)
-        expects_many_requests = self.load.expects_many_requests(header.route)
+            return HoldForServer("no-slot")
+        self.coordinators.record_request(coordinator, header.flow_key, now)
+        expects_many_requests = self.load_tracker.expects_many_requests(
+            header.route_address
+        )
         own_vm = self.settings.vm
-        return Ask(
+        return RequestPlacement(
             coordinator,
             PlaceQuestion(
-                own_vm, header.flow, service, tried_tokens, expects_many_requests
+                own_vm, header.flow_key, service, tried_tokens, expects_many_requests
             ),
         )
 
     def _place_locally(
-        self, header: Head, service: ServiceName, now: float
+        self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
-        flow = self.load.flows.get(header.flow)
+        flow = self.load_tracker.flows.get(header.flow_key)
         tried_tokens = (
             flow.tried_tokens if flow is not None and not flow.is_established else ()
         )
         new_flow = NewFlow(
-            tried_tokens, self.load.expects_many_requests(header.route), now
+            tried_tokens,
+            self.load_tracker.expects_many_requests(header.route_address),
+            now,
         )
         selection = self._select_server(service, new_flow)
         if selection is None:
             return self._decide_without_server(header, service, now)
         self.last_served_at[service] = now
         if selection.is_full:
-            return Wait("no-slot")
+            return HoldForServer("no-slot")
         token = selection.entry.record.token
-        self.load.record_syn(header, token, now)
+        self.load_tracker.record_syn(header, token, now)
         self._log_placement(
             header,
             selection.entry,
@@ -233,7 +254,7 @@
         is_limited = since_full_s < self.settings.limited_placement_s
         return (
             is_limited
-            and len(self.placers.pending_requests)
+            and len(self.coordinators.pending_requests)
             >= self.settings.limited_placement_requests
         )
 
@@ -246,7 +267,7 @@
             entries = [
                 entry for entry in entries if entry.record.token not in colliding_tokens
             ]
-        return select_server(entries, new_flow, self.load, self.random)
+        return select_server(entries, new_flow, self.load_tracker, self.random)
 
     def _reports_to(self, vm: VmId) -> OutgoingReports:
         return self.outgoing_reports.setdefault(vm, OutgoingReports())
@@ -257,8 +278,8 @@
         In a zone with more than ``full_reporting_max_vms`` entry VMs, the load on a
         server is reported only to the placement coordinator of its service.
         """
-        loads = self.load.reportable_loads(now)
-        receivers = [vm for vm in self.placers.entry_vms if vm != self.settings.vm]
+        loads = self.load_tracker.reportable_loads(now)
+        receivers = [vm for vm in self.coordinators.entry_vms if vm != self.settings.vm]
         if len(receivers) < self.settings.full_reporting_max_vms:
             return {vm: loads for vm in receivers}
         by_receiver: dict[VmId, list[ServerLoad]] = {}
@@ -266,55 +287,61 @@
             entry = self.directory.by_token.get(server_load.token)
             if entry is None:
                 continue
-            coordinator = self.placers.placer(entry.record.report.service, now)
+            coordinator = self.coordinators.coordinator_for(
+                entry.record.report.service, now
+            )
             if coordinator != self.settings.vm:
                 by_receiver.setdefault(coordinator, []).append(server_load)
         return by_receiver
 
-    def _route_by_token(self, header: Head, now: float) -> Decision:
-        flow = self.load.flows.get(header.flow)
+    def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
+        flow = self.load_tracker.flows.get(header.flow_key)
         token = header.token
         if flow is not None and flow.is_established and token in flow.tried_tokens:
             token = flow.token
         entry = self.directory.by_token.get(token)
         if entry is None:
-            return Hold(token) if token else Drop("no-token")
-        if self.routes.was_removed_before(
-            header.route, now - self.settings.removed_route_grace_s
+            return HoldForToken(token) if token else Drop("no-token")
+        if self.route_table.was_removed_before(
+            header.route_address, now - self.settings.removed_route_grace_s
         ):
-            return Reset(header.acknowledged, "route-removed")
+            return Reset(header.ack_number, "route-removed")
         ended_at = entry.ended_at
         if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
-            return Reset(header.acknowledged, "server-ended")
-        self.load.record_packet(header, token, now)
+            return Reset(header.ack_number, "server-ended")
+        self.load_tracker.record_packet(header, token, now)
         if self._is_server_lost(header, entry.record, now):
-            self.load.remove_flow(header.flow)
-            return Reset(header.acknowledged, "server-silent")
+            self.load_tracker.remove_flow(header.flow_key)
+            return Reset(header.ack_number, "server-silent")
         return Forward(entry.record, token)
 
-    def _is_server_lost(self, header: Head, record: ServerRecord, now: float) -> bool:
+    def _is_server_lost(
+        self, header: PacketHeader, record: ServerRecord, now: float
+    ) -> bool:
         """Return whether a flow's server is gone, judged by two kinds of evidence.
 
         The caller retransmits while the server answers no caller of this VM. In
         addition, the server's reports are overdue, its zone is unreachable, or SYN
         packets to it went unanswered.
         """
-        if not header.length or not self.load.is_server_unresponsive(header.flow, now):
+        if not header.payload_length or not self.load_tracker.is_server_unresponsive(
+            header.flow_key, now
+        ):
             return False
-        is_zone_unreachable = record.report.zone in self.load.silent_zones
+        is_zone_unreachable = record.report.zone in self.load_tracker.unreachable_zones
         return (
             record.is_late
             or is_zone_unreachable
-            or self.load.has_unanswered_syns(record.token)
+            or self.load_tracker.has_unanswered_syns(record.token)
         )
 
-    def _decide_without_route(self, header: Head) -> Decision:
-        if not self.routes.number:
-            return Wait("no-document")
+    def _decide_without_route(self, header: PacketHeader) -> Decision:
+        if not self.route_table.document_number:
+            return HoldForServer("no-document")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
 
     def _decide_without_server(
-        self, header: Head, service: ServiceName, now: float
+        self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
         """Return the decision for a SYN packet of a service without servers.
 
@@ -324,18 +351,22 @@
         """
         waiting_since = self.last_served_at.get(service, self.started_at)
         if waiting_since > now - self.settings.server_wait_s:
-            return Wait("no-server-yet")
+            return HoldForServer("no-server-yet")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
 
     def _log_placement(
-        self, header: Head, entry: ServerEntry, now: float, **details: float | str
+        self,
+        header: PacketHeader,
+        entry: ServerEntry,
+        now: float,
+        **details: float | str,
     ) -> None:
         report = entry.record.report
         log_decision(
             "flow-placed",
-            flow=header.flow.hex(),
-            copy=header.copy,
-            document=self.routes.number,
+            flow=header.flow_key.hex(),
+            copy=header.retransmission_count,
+            document=self.route_table.document_number,
             service=report.service,
             server=report.lifetime,
             token=entry.record.token,
@@ -343,11 +374,11 @@
             **details,
         )
 
-    def _log_unanswered_syn(self, header: Head, token: int) -> None:
-        local_load = self.load.local_load_at(token)
+    def _log_unanswered_syn(self, header: PacketHeader, token: int) -> None:
+        local_load = self.load_tracker.local_load_at(token)
         log_decision(
             "server-unanswered",
-            flow=header.flow.hex(),
+            flow=header.flow_key.hex(),
             token=token,
             strikes=local_load.unanswered_syns,
         )
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -7,7 +7,7 @@
 from kumquatmux_core.identity import VmId, ZoneName
 
 
-class TokenSettings(NamedTuple):
+class TokenRouterSettings(NamedTuple):
     """Settings of the token router of one entry VM.
 
     Attributes:
@@ -51,8 +51,9 @@
         remote_zone_cost: Load per slot up to which new flows stay in their own zone;
             also added to the cost of servers in other zones.
         idle_flow_cost: Cost of an open flow without a request, relative to a request.
-        queue_depth: Requests that may queue at a server beyond its slots before new
-            flows wait here; as many as finish well within the target time of an answer.
+        server_queue_limit: Requests that may queue at a server beyond its slots before
+            new flows wait here; as many as finish well within the target time of an
+            answer.
         warm_up_cost_factor: Factor on the cost of a server in warm-up.
         server_avoidance_s: Seconds for which a server is avoided after it left a SYN
             packet unanswered; doubles with each further one.
@@ -107,7 +108,7 @@
     removed_route_grace_s: float = 6.0
     remote_zone_cost: float = 0.7
     idle_flow_cost: float = 0.03
-    queue_depth: int = 6
+    server_queue_limit: int = 6
     warm_up_cost_factor: float = 1.6
     server_avoidance_s: float = 0.5
     server_avoidance_max_s: float = 4.0
--- a/libs/tokens/tests/test_choice.py
+++ b/libs/tokens/tests/test_choice.py
@@ -7,7 +7,7 @@
 from kumquatmux_tokens.choice import NewFlow, select_server
 from kumquatmux_tokens.directory import ServerDirectory
 from kumquatmux_tokens.load import LoadTracker
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
 NOW_S = 10.0
@@ -35,7 +35,7 @@
 ):
     """Return the name of the selected server, given requests and flows by name."""
     directory = ServerDirectory()
-    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker = LoadTracker(TokenRouterSettings("e1", "a"))
     for record in records:
         directory.store_record(record, first_known_at)
     for name, count in dict(active_requests).items():
@@ -43,7 +43,7 @@
     for name, count in dict(open_flows).items():
         load_tracker.local_load_at(Lifetime(name, 1).token).open_flows = count
     if load_report:
-        load_tracker.zone.take(load_report, NOW_S)
+        load_tracker.peer_load.apply_report(load_report, NOW_S)
     selection = select_server(
         directory.running_servers("entries"), flow, load_tracker, Random(1)
     )
@@ -123,7 +123,7 @@
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1"), NOW_S - 0.05)
     directory.store_record(make_server_record("i-2", "b"), 0.0)
-    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker = LoadTracker(TokenRouterSettings("e1", "a"))
     selection = select_server(
         directory.running_servers("entries"),
         FLOW_WITH_FEW_REQUESTS,
@@ -137,8 +137,8 @@
     directory = ServerDirectory()
     directory.store_record(make_server_record("i-1", "b"), 0.0)
     directory.store_record(make_server_record("i-2", "c"), 0.0)
-    load_tracker = LoadTracker(TokenSettings("e1", "a"))
-    load_tracker.silent_zones = frozenset({"b"})
+    load_tracker = LoadTracker(TokenRouterSettings("e1", "a"))
+    load_tracker.unreachable_zones = frozenset({"b"})
     selected_names = set()
     for seed in range(20):
         selection = select_server(
--- a/tests/adapter/test_packets.py
+++ b/tests/adapter/test_packets.py
@@ -33,28 +33,46 @@
 
 def test_an_opening_packet_is_read():
     head = read_head(OPENING)
-    assert head.is_opening
-    assert not head.is_closing
-    assert head.route == bytes([198, 18, 0, 3]) + (8443).to_bytes(2)
-    assert head.flow[:6] == bytes([100, 64, 0, 9]) + (1234).to_bytes(2)
-    assert (head.token, head.copy, head.sequence, head.length) == (0, 0, 16, 0)
+    assert head.is_syn
+    assert not head.is_fin_or_rst
+    assert head.route_address == bytes([198, 18, 0, 3]) + (8443).to_bytes(2)
+    assert head.flow_key[:6] == bytes([100, 64, 0, 9]) + (1234).to_bytes(2)
+    assert (
+        head.token,
+        head.retransmission_count,
+        head.sequence_number,
+        head.payload_length,
+    ) == (
+        0,
+        0,
+        16,
+        0,
+    )
 
 
 def test_a_copy_of_an_opening_packet_counts_itself():
     second = OPENING[:24] + (2).to_bytes(4) + OPENING[28:]
-    assert read_head(second).copy == 2
+    assert read_head(second).retransmission_count == 2
 
 
 def test_a_data_packet_is_read():
     head = read_head(DATA + b"abc")
-    assert (head.token, head.sequence, head.acknowledged) == (0xC0FFEE, 17, 0x222)
-    assert (head.length, head.copy, head.is_opening) == (3, 0, False)
+    assert (head.token, head.sequence_number, head.ack_number) == (
+        0xC0FFEE,
+        17,
+        0x222,
+    )
+    assert (head.payload_length, head.retransmission_count, head.is_syn) == (
+        3,
+        0,
+        False,
+    )
 
 
 @pytest.mark.parametrize(("flags", "closing"), [(8, True), (64, True), (16, False)])
 def test_a_caller_that_closes_or_breaks_off_is_seen(flags, closing):
     packet = DATA[:28] + bytes([flags]) + DATA[29:34] + bytes(2)
-    assert read_head(packet).is_closing == closing
+    assert read_head(packet).is_fin_or_rst == closing
 
 
 @pytest.mark.parametrize(
@@ -101,5 +119,5 @@
 def test_any_bytes_are_read_or_left(packet):
     head = read_head(packet)
     if head is not None:
-        assert len(packet) == 36 + head.length
-        assert len(head.flow) == 12
+        assert len(packet) == 36 + head.payload_length
+        assert len(head.flow_key) == 12
