Reword the doc comments and messages of the storage library

Several texts used figurative or elliptic wording. They now use the usual terms of durable storage and consensus logs; behaviour is unchanged.

--- a/libs/storage/src/kumquatmux_storage/__init__.py
+++ b/libs/storage/src/kumquatmux_storage/__init__.py
@@ -1,4 +1,4 @@
-"""Durable files of a replica under one data folder."""
+"""Durable storage of a consensus replica in one data folder."""
 
 from __future__ import annotations
 
--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -1,4 +1,4 @@
-"""The narrow interface to a disk, and the real one."""
+"""Interface to the files of a data folder, and its file system implementation."""
 
 from __future__ import annotations
 
@@ -17,42 +17,42 @@
 
 
 class Disk(Protocol):
-    """Files of one folder; every method may raise ``OSError``.
+    """Interface to the files of one folder; every method may raise ``OSError``.
 
-    What is written lasts only once the file is synced; new, renamed and removed
-    names last only once the names are synced.
+    Written data is durable only after the file is synced; created, renamed and removed
+    file names are durable only after the names are synced.
     """
 
     def names(self) -> list[str]:
         """Return the names of all files."""
 
     def read(self, name: str) -> bytes:
-        """Return a whole file."""
+        """Return the content of a file."""
 
     def append(self, name: str, data: bytes) -> None:
-        """Write at the end of a file, which is made if it is missing."""
+        """Append to a file, which is created if it does not exist."""
 
     def replace(self, name: str, data: bytes) -> None:
-        """Overwrite a file from its start, which is made if it is missing."""
+        """Replace the content of a file, which is created if it does not exist."""
 
     def truncate(self, name: str, length: int) -> None:
-        """Cut a file to a length in bytes."""
+        """Truncate a file to a length in bytes."""
 
     def sync(self, name: str) -> None:
-        """Make the content of a file last."""
+        """Flush the content of a file to durable storage."""
 
     def rename(self, old: str, new: str) -> None:
-        """Give a file another name, in place of a file that has it."""
+        """Rename a file, replacing any file that has the new name."""
 
     def sync_names(self) -> None:
-        """Make the names of all files last."""
+        """Flush created and renamed file names to durable storage."""
 
 
 class FolderDisk:
-    """The files of a real folder, held by one process at a time.
+    """Files of a file system folder that one process locks exclusively.
 
     Attributes:
-        folder: Where the files are.
+        folder: Path of the folder.
     """
 
     def __init__(self, folder: Path, lock: int) -> None:
@@ -61,43 +61,43 @@
         self._open: dict[str, int] = {}
 
     def names(self) -> list[str]:
-        """Return the names of all files but the lock."""
+        """Return the names of all files except the lock file."""
         found = (path.name for path in self.folder.iterdir() if path.is_file())
         return sorted(name for name in found if name != LOCK_NAME)
 
     def read(self, name: str) -> bytes:
-        """Return a whole file."""
+        """Return the content of a file."""
         return (self.folder / name).read_bytes()
 
     def append(self, name: str, data: bytes) -> None:
-        """Write at the end of a file."""
+        """Append to a file, which is created if it does not exist."""
         file = self._file(name)
         os.lseek(file, 0, os.SEEK_END)
         _write_all(file, data)
 
     def replace(self, name: str, data: bytes) -> None:
-        """Overwrite a file from its start."""
+        """Replace the content of a file, which is created if it does not exist."""
         file = self._file(name)
         os.lseek(file, 0, os.SEEK_SET)
         _write_all(file, data)
         os.ftruncate(file, len(data))
 
     def truncate(self, name: str, length: int) -> None:
-        """Cut a file to a length in bytes."""
+        """Truncate a file to a length in bytes."""
         os.ftruncate(self._file(name), length)
 
     def sync(self, name: str) -> None:
-        """Make the content of a file last."""
+        """Flush the content of a file to durable storage."""
         os.fsync(self._file(name))
 
     def rename(self, old: str, new: str) -> None:
-        """Give a file another name."""
+        """Rename a file, replacing any file that has the new name."""
         self._close(new)
         self._close(old)
         os.replace(self.folder / old, self.folder / new)
 
     def sync_names(self) -> None:
-        """Make the names of all files last."""
+        """Flush created and renamed file names to durable storage."""
         handle = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
         try:
             os.fsync(handle)
@@ -105,12 +105,13 @@
             os.close(handle)
 
     def close(self) -> None:
-        """Let go of the folder."""
+        """Close all files and release the folder lock."""
         for name in list(self._open):
             self._close(name)
         os.close(self._lock)
 
     def _file(self, name: str) -> int:
+        """Return the descriptor of a file, which is opened or created if needed."""
         file = self._open.get(name)
         if file is None:
             flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
@@ -125,11 +126,11 @@
 
 
 def open_folder(folder: Path) -> Result[FolderDisk, Problem]:
-    """Return the files of a folder, which is made if missing, and lock it.
+    """Open and lock a folder, which is created if it does not exist.
 
     Errors:
-        ``folder-in-use`` if another process holds it, ``disk-full`` or
-        ``disk-failed`` if it cannot be made.
+        ``folder-in-use`` if another process has locked it; ``disk-full`` or
+        ``disk-failed`` if the folder or its lock file cannot be created.
     """
     try:
         folder.mkdir(mode=0o700, parents=True, exist_ok=True)
@@ -147,7 +148,7 @@
 
 
 def problem_of(error: OSError, subject: str) -> Problem:
-    """Return an operating system's error as a problem."""
+    """Convert an operating system error to a ``Problem``."""
     if error.errno in FULL_ERRORS:
         detail = "the disk is full; free space and restart this process"
         return Problem("disk-full", detail, subject)
--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -1,4 +1,4 @@
-"""The kinds of files in a data folder and what their frames hold."""
+"""Files of a data folder, and the records stored in their frames."""
 
 from __future__ import annotations
 
@@ -29,12 +29,12 @@
 
 
 class Identity(NamedTuple):
-    """Whose data folder it is; written last when the folder is created.
+    """Owner of a data folder; written last when the folder is created.
 
     Attributes:
-        cluster: Name of the cluster.
-        vm: The VM.
-        folder: Made at random, so that a folder made anew is another replica.
+        cluster: Name of the cluster that the replica belongs to.
+        vm: ID of the VM that the replica runs on.
+        folder: Random folder ID, so that a recreated folder is a different replica.
     """
 
     cluster: str
@@ -43,12 +43,12 @@
 
 
 class Base(NamedTuple):
-    """First frame of a log file.
+    """First frame of a log file, which gives its position in the replicated log.
 
     Attributes:
-        generation: Grows by one each time the file is written anew.
-        log_index: The entry before the first one in the file.
-        term: Term of that entry.
+        generation: Incremented each time the log file is rewritten.
+        log_index: Index of the entry that precedes the first one in the file.
+        term: Term of the entry at ``log_index``.
     """
 
     generation: int
@@ -57,11 +57,11 @@
 
 
 class SyncedLength(NamedTuple):
-    """How long the log file was when it was last synced.
+    """Length of the log file at its last recorded sync.
 
     Attributes:
-        generation: Of the log file meant.
-        length: Its length in bytes.
+        generation: Generation of the log file that the length applies to.
+        length: Length of the log file in bytes.
     """
 
     generation: int
@@ -69,13 +69,13 @@
 
 
 class LogFile(NamedTuple):
-    """What a log file holds.
+    """Decoded content of a log file.
 
     Attributes:
-        base: Its first frame.
-        entries: The entries, replaced ones left out.
-        length: Length of its sound part in bytes.
-        is_torn: Whether something follows the sound part.
+        base: First frame of the file.
+        entries: Log entries, without those that later entries overwrote.
+        length: Length of the valid frames, including the file header, in bytes.
+        is_torn: Whether an incomplete write follows the valid frames.
     """
 
     base: Base
@@ -85,19 +85,24 @@
 
 
 def encode(record: NamedTuple | tuple[Entry, ...]) -> bytes:
-    """Return a record as the payload of a frame."""
+    """Encode a record as the payload of a frame."""
     return msgspec.msgpack.encode(record)
 
 
 def whole_file(name: str, record: NamedTuple) -> bytes:
-    """Return a file that holds one record."""
+    """Return the content of a file that stores a single record."""
     payload = encode(record)
     header = frames.file_header(KINDS[name])
     return header + frames.frame(payload, len(header))
 
 
 def read_record(disk: Disk, name: str, record_type: Any) -> Result[Any, Problem]:
-    """Return the one record of a file that is replaced as a whole."""
+    """Read and decode a file that stores a single record.
+
+    Errors:
+        ``file-short``, ``file-kind``, ``file-version``, ``file-damaged`` or
+        ``file-content``.
+    """
     data = disk.read(name)
     header = frames.check_header(data, KINDS[name], name)
     if header.is_error():
@@ -110,21 +115,22 @@
 
 
 def read_vote(disk: Disk) -> Result[VoteRecord, Problem]:
-    """Return the vote record."""
+    """Read the vote record."""
     return read_record(disk, VOTE, VoteRecord)
 
 
 def read_snapshot(disk: Disk) -> Result[Snapshot, Problem]:
-    """Return the snapshot."""
+    """Read the snapshot."""
     return read_record(disk, SNAPSHOT, Snapshot)
 
 
 def read_log(disk: Disk) -> Result[LogFile, Problem]:
-    """Return what the log file holds; a torn end is left out.
+    """Read and decode the log file without an incomplete write at its end.
 
     Errors:
-        ``log-damaged`` with the offset if sound frames follow a damaged one or a
-        part that had been synced is gone.
+        ``log-damaged`` with the offset if a frame is damaged rather than incomplete,
+        or if data that had been synced is missing; ``log-gap`` if log indexes are not
+        consecutive; or an error of the file header or of decoding a frame.
     """
     data = disk.read(LOG)
     header = frames.check_header(data, KINDS[LOG], LOG)
@@ -148,6 +154,7 @@
 
 
 def _synced_length(disk: Disk, generation: int) -> int:
+    """Return the recorded synced length of a log generation, or 0 if unknown."""
     if SYNCED not in disk.names():
         return 0
     record = read_record(disk, SYNCED, SyncedLength)
@@ -159,6 +166,7 @@
 def _replay(
     base: Base, payloads: tuple[bytes, ...]
 ) -> Result[tuple[Entry, ...], Problem]:
+    """Decode batches of entries and apply them in order; later entries overwrite."""
     entries: list[Entry] = []
     for payload in payloads:
         batch = _decode(payload, tuple[Entry, ...], LOG, 0)
@@ -167,7 +175,7 @@
         for entry in batch.ok:
             place = entry.log_index - base.log_index - 1
             if not 0 <= place <= len(entries):
-                detail = f"entry {entry.log_index} does not follow the one before"
+                detail = f"entry {entry.log_index} does not follow the preceding entry"
                 return _with_way_out(Problem("log-gap", detail, LOG))
             del entries[place:]
             entries.append(entry)
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -1,9 +1,10 @@
-"""Checksummed frames in a file, and what is left of them after a crash.
+"""File format of checksummed frames, with detection of torn writes and damage.
 
-A file begins with ``HEADER_BYTES`` bytes that name its kind and format version. A
-frame is its payload's length (4 bytes), a checksum (8 bytes), the payload and an end
-mark (1 byte), big endian. The checksum covers the payload and the frame's place in the
-file. Thanks to the mark no frame ends in zeros, as a missing sector does.
+A file starts with a header of ``HEADER_BYTES`` bytes that holds a magic number, the
+format version and the file kind. Each frame consists of the payload length (4 bytes),
+a checksum (8 bytes), the payload and an end mark (1 byte); integers are big endian.
+The checksum covers the payload and is seeded with the frame's offset in the file.
+The end mark is not zero, so a frame never ends in zeros like an unwritten sector.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 FRAME_BYTES_MAX = 1 << 30
 SECTOR_BYTES = 512
 LENGTH_BYTES = 4
-"""Bytes of a frame's length, which may be zeros but for the last one."""
+"""Size of the payload length in a frame; all its bytes but the last may be zero."""
 
 END_MARK = b"\x01"
 
@@ -33,13 +34,13 @@
 
 
 class Scan(NamedTuple):
-    """The sound frames at the start of a file.
+    """Result of reading the valid frames at the start of a file.
 
     Attributes:
-        payloads: Their payloads.
-        length: Where they end, in bytes.
-        is_torn: Whether an unfinished write follows them.
-        is_damaged: Whether something else follows them.
+        payloads: Payloads of the valid frames.
+        length: Offset in bytes at which the last valid frame ends.
+        is_torn: Whether an incomplete write follows the valid frames.
+        is_damaged: Whether data other than an incomplete write follows them.
     """
 
     payloads: tuple[bytes, ...]
@@ -49,31 +50,39 @@
 
 
 def file_header(kind: int) -> bytes:
-    """Return the first bytes of a file of a kind (0 to 255)."""
+    """Return the file header for a file kind (0 to 255)."""
     return _header.pack(MAGIC, FORMAT_VERSION, kind, 0)
 
 
 def frame(payload: bytes, offset: int) -> bytes:
-    """Return the frame of a payload that stands at an offset of its file."""
+    """Return a payload encoded as the frame at an offset in bytes of its file."""
     head = _frame.pack(len(payload), _checksum(payload, offset))
     return head + payload + END_MARK
 
 
 def check_header(data: bytes, kind: int, name: str) -> Result[None, Problem]:
-    """Return whether a file is of a kind and a known format version."""
+    """Check that a file has the expected kind and a supported format version.
+
+    Errors:
+        ``file-short``, ``file-kind`` or ``file-version``.
+    """
     if len(data) < HEADER_BYTES:
-        return Error(Problem("file-short", f"{len(data)} bytes, no header", name))
+        return Error(
+            Problem(
+                "file-short", f"{len(data)} bytes, too short for a file header", name
+            )
+        )
     magic, version, found, _ = _header.unpack_from(data)
     if magic != MAGIC or found != kind:
-        return Error(Problem("file-kind", "damaged at offset 0: not such a file", name))
+        return Error(Problem("file-kind", "damaged at offset 0: wrong file kind", name))
     if version != FORMAT_VERSION:
-        detail = f"format version {version}, this program knows {FORMAT_VERSION}"
+        detail = f"format version {version}, only {FORMAT_VERSION} is supported"
         return Error(Problem("file-version", detail, name))
     return Ok(None)
 
 
 def scan(data: bytes) -> Scan:
-    """Return the sound frames of a file whose header has been checked."""
+    """Read the valid frames of a file whose header has already been checked."""
     payloads: list[bytes] = []
     offset = HEADER_BYTES
     while offset < len(data):
@@ -87,6 +96,7 @@
 
 
 def _payload_at(data: bytes, offset: int) -> bytes | None:
+    """Return the payload of the frame at an offset, or None if it is not valid."""
     start = offset + FRAME_HEADER_BYTES
     if start > len(data):
         return None
@@ -99,10 +109,10 @@
 
 
 def _is_torn(data: bytes, offset: int) -> bool:
-    """Return whether the rest of a file is a write that a crash cut short.
+    """Return whether the data after an offset is a write interrupted by a crash.
 
-    Such a write ends early, or lacks whole sectors, which read as zeros. A frame
-    that is all there and does not match its checksum was damaged later.
+    An interrupted write ends early or misses whole sectors, which read as zeros. A
+    complete frame with a wrong checksum was damaged after it had been written.
     """
     if _has_later_frame(data, offset + 1):
         return False
@@ -120,12 +130,17 @@
 
 
 def _has_later_frame(data: bytes, start: int) -> bool:
+    """Return whether a valid frame starts at an offset or anywhere after it."""
     places = range(start, len(data) - FRAME_HEADER_BYTES)
     return any(_payload_at(data, place) is not None for place in places)
 
 
 def _has_empty_sector(data: bytes, start: int) -> bool:
-    """Return whether a sector after the start of a frame holds nothing of it."""
+    """Return whether a frame misses a sector, which then holds only zeros.
+
+    A run of zeros shorter than the payload length at the frame's start is ignored,
+    because the length itself may begin with zeros.
+    """
     begin = start
     while begin < len(data):
         end = min(len(data), (begin // SECTOR_BYTES + 1) * SECTOR_BYTES)
--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -1,4 +1,4 @@
-"""A disk in memory that forgets what was not synced, for tests of failures."""
+"""In-memory disk that simulates write errors and loss of unsynced data."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 
 
 class Crashed(Exception):
-    """The process stopped in the middle of an operation on the disk."""
+    """Raised where a simulated crash interrupts a disk operation."""
 
 
 class MemoryFile:
-    """One file: its content now, and what a crash leaves.
+    """Current and last synced content of one file.
 
     Attributes:
-        data: Content as the process sees it.
-        synced: Content as it was synced last.
+        data: Current content, as the process reads it.
+        synced: Content at the last sync.
     """
 
     def __init__(self) -> None:
@@ -26,15 +26,16 @@
 
 
 class MemoryDisk:
-    """Files in memory with the faults of a disk.
+    """In-memory implementation of ``Disk`` with simulated faults.
 
     Attributes:
-        files: Files by name as the process sees them.
-        synced_names: Files by name as a crash leaves them.
-        operations: How many writes, syncs, renames and cuts there were.
-        crash_at: The operation at which the process stops, -1 for none.
-        is_full: Whether writes fail halfway.
-        fails_sync: Whether the next syncs fail.
+        files: Files by current name, as the process sees them.
+        synced_names: Files by name at the last sync of the names.
+        operations: Number of operation steps so far; a write, truncation or rename
+            counts as one step, a sync as two: before and after it takes effect.
+        crash_at: Operation step at which ``Crashed`` is raised, or -1 for none.
+        is_full: Whether each write stores half of its data and fails with ENOSPC.
+        fails_sync: Whether each sync fails with EIO.
     """
 
     def __init__(self) -> None:
@@ -50,32 +51,32 @@
         return sorted(self.files)
 
     def read(self, name: str) -> bytes:
-        """Return a whole file."""
+        """Return the content of a file."""
         if name not in self.files:
             raise FileNotFoundError(errno.ENOENT, "no such file", name)
         return self.files[name].data
 
     def append(self, name: str, data: bytes) -> None:
-        """Write at the end of a file."""
+        """Append to a file, which is created if it does not exist."""
         file = self.files.setdefault(name, MemoryFile())
         file.data += self._writable(data)
         self._check_room()
         self._step()
 
     def replace(self, name: str, data: bytes) -> None:
-        """Overwrite a file from its start."""
+        """Replace the content of a file, which is created if it does not exist."""
         file = self.files.setdefault(name, MemoryFile())
         file.data = self._writable(data)
         self._check_room()
         self._step()
 
     def truncate(self, name: str, length: int) -> None:
-        """Cut a file to a length in bytes."""
+        """Truncate a file to a length in bytes."""
         self.files[name].data = self.files[name].data[:length]
         self._step()
 
     def sync(self, name: str) -> None:
-        """Make the content of a file last."""
+        """Flush the content of a file to durable storage."""
         self._step()
         if self.fails_sync:
             raise OSError(errno.EIO, "input/output error", name)
@@ -84,12 +85,12 @@
         self._step()
 
     def rename(self, old: str, new: str) -> None:
-        """Give a file another name."""
+        """Rename a file, replacing any file that has the new name."""
         self.files[new] = self.files.pop(old)
         self._step()
 
     def sync_names(self) -> None:
-        """Make the names of all files last."""
+        """Flush created and renamed file names to durable storage."""
         self._step()
         if self.fails_sync:
             raise OSError(errno.EIO, "input/output error", "folder")
@@ -97,7 +98,10 @@
         self._step()
 
     def crash(self, random: Random) -> None:
-        """Lose what was not synced, or some of it; bytes may come out wrong."""
+        """Simulate a crash that loses a random part of the unsynced changes.
+
+        All simulated faults are cleared.
+        """
         if random.random() < 0.5:
             self.files = dict(self.synced_names)
         for file in self.files.values():
@@ -109,10 +113,11 @@
         self.fails_sync = False
 
     def wipe(self) -> None:
-        """Lose every file."""
+        """Delete all files and reset all faults and counters."""
         self.__init__()  # type: ignore[misc]
 
     def _writable(self, data: bytes) -> bytes:
+        """Return the part of the data that fits: the first half on a full disk."""
         return data[: len(data) // 2] if self.is_full else data
 
     def _check_room(self) -> None:
@@ -120,13 +125,17 @@
             raise OSError(errno.ENOSPC, "no space left on device")
 
     def _step(self) -> None:
+        """Count an operation step and raise ``Crashed`` if it is the chosen one."""
         self.operations += 1
         if self.operations == self.crash_at:
-            raise Crashed(f"at operation {self.operations}")
+            raise Crashed(f"simulated crash at operation {self.operations}")
 
 
 def _torn(file: MemoryFile, random: Random) -> bytes:
-    """Return what a crash leaves of a file: perhaps cut, perhaps lacking sectors."""
+    """Return the content left by a crash: a random part of the unsynced data.
+
+    The unsynced data may be truncated, and sectors of it may be zeroed.
+    """
     if not file.data.startswith(file.synced):
         return random.choice((file.data, file.synced))
     length = random.randint(len(file.synced), len(file.data))
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -1,4 +1,4 @@
-"""A replica's durable state in one data folder."""
+"""Durable state of a consensus replica in one data folder."""
 
 from __future__ import annotations
 
@@ -16,16 +16,17 @@
 
 
 class Store:
-    """An open data folder.
+    """Open data folder of a replica.
 
     Attributes:
-        disk: Its files.
-        identity: Whose folder it is.
-        restored: What it held when it was opened.
-        entries: The entries in the log file.
+        disk: Files of the folder.
+        identity: Cluster, VM and folder ID of the replica.
+        restored: Durable state read when the folder was opened.
+        entries: Entries currently in the log file.
         base: First frame of the log file.
         length: Length of the log file in bytes.
-        failure: The first write that failed; nothing is written after it.
+        failure: Error of the first failed write, after which nothing is written, or
+            None.
     """
 
     def __init__(
@@ -44,11 +45,11 @@
         self.failure: Problem | None = None
 
     def write(self, persist: Persist) -> Result[None, Problem]:
-        """Make a ``Persist`` durable; when it returns Ok all of it is synced.
+        """Write a ``Persist`` event to disk and sync it before returning Ok.
 
         Errors:
-            ``disk-full`` or ``disk-failed``. What is on the disk is then unknown
-            until the folder is opened again, so every later write fails too.
+            ``disk-full`` or ``disk-failed``. The content of the disk is then unknown
+            until the folder is reopened, so every later write fails as well.
         """
         if self.failure is not None:
             return Error(self.failure)
@@ -84,7 +85,7 @@
         self.rewrite_log(snapshot)
 
     def rewrite_log(self, snapshot: Snapshot) -> None:
-        """Write the log file anew, to begin after a snapshot."""
+        """Rewrite the log file so that it starts after a snapshot."""
         generation = self.base.generation + 1
         self.base = Base(generation, snapshot.log_index, snapshot.term)
         data = log_bytes(self.base, tuple(self.entries))
@@ -93,17 +94,22 @@
         self._note_length()
 
     def _note_length(self) -> None:
-        """Note how much of the log is synced.
+        """Record how much of the log file is synced.
 
-        The note is not synced itself: it only tells a damaged record from one that
-        was never whole, and may lag.
+        The recorded length is not synced itself and may be out of date: it only helps
+        to tell damage to synced data from an incomplete write.
         """
         note = SyncedLength(self.base.generation, self.length)
         self.disk.replace(files.SYNCED, files.whole_file(files.SYNCED, note))
 
 
 class FolderContent(NamedTuple):
-    """All files of a folder, read and checked."""
+    """Decoded and checked content of a data folder.
+
+    Attributes:
+        state: Vote, snapshot and the entries after the snapshot.
+        log: Content of the log file.
+    """
 
     state: DurableState
     log: files.LogFile
@@ -115,11 +121,15 @@
     """Open a data folder, or create it if it is empty.
 
     Args:
-        disk: The files of the folder.
-        identity: Cluster and VM it has to belong to, and the folder name it gets
-            if it is created.
-        first: What a created folder holds: ``founding_state`` on the one VM that
-            founds a cluster, ``joining_state`` everywhere else.
+        disk: Files of the folder.
+        identity: Cluster and VM that the folder must belong to, and the folder ID
+            that it gets if it is created.
+        first: Initial state of a new folder: ``founding_state`` on the one VM that
+            bootstraps a cluster, ``joining_state`` on every other VM.
+
+    Errors:
+        ``folder-of-another`` if the folder belongs to another VM or cluster, or an
+        error of ``open_store`` or ``create_store``.
     """
     opened = open_store(disk)
     if opened.is_error():
@@ -135,13 +145,14 @@
 
 
 def open_store(disk: Disk) -> Result[Store | None, Problem]:
-    """Open a data folder; None if it is empty.
+    """Open a data folder, or return None if it is empty or its creation failed early.
 
-    A record torn by a crash at the end of the log is cut off.
+    An incomplete write at the end of the log, as left by a crash, is truncated.
 
     Errors:
-        ``file-missing``, ``file-damaged``, ``log-damaged`` and the like, with file
-        and offset. Nothing is changed then.
+        ``file-missing``, ``file-damaged``, ``log-damaged`` or a similar code, with the
+        file and, for damage, the offset; the folder is then left unchanged. An
+        ``OSError`` becomes ``disk-full`` or ``disk-failed``.
     """
     try:
         return _open(disk)
@@ -152,7 +163,11 @@
 def create_store(
     disk: Disk, identity: Identity, first: DurableState
 ) -> Result[Store, Problem]:
-    """Create a data folder; it counts as created once its identity is written."""
+    """Create a data folder; the identity is written last and completes the creation.
+
+    Errors:
+        ``disk-full`` or ``disk-failed``.
+    """
     base = Base(1, first.snapshot.log_index, first.snapshot.term)
     data = log_bytes(base, first.entries)
     try:
@@ -173,12 +188,12 @@
 
 
 def replace_file(disk: Disk, name: str, record: NamedTuple) -> None:
-    """Replace a file by one record so that a crash leaves the old or the new one."""
+    """Atomically replace a file that stores a single record."""
     _replace(disk, name, files.whole_file(name, record))
 
 
 def log_bytes(base: Base, entries: tuple[Entry, ...]) -> bytes:
-    """Return a whole log file."""
+    """Return the content of a log file with the given first frame and entries."""
     data = frames.file_header(files.KINDS[files.LOG])
     data += frames.frame(files.encode(base), len(data))
     if entries:
@@ -193,7 +208,7 @@
         return _without_identity(disk, names & durable)
     missing = sorted(durable - names)
     if missing:
-        detail = f"missing beside an identity; {files.WAY_OUT}"
+        detail = f"missing although the folder has an identity; {files.WAY_OUT}"
         return Error(Problem("file-missing", detail, missing[0]))
     identity = files.read_record(disk, files.IDENTITY, Identity)
     if identity.is_error():
@@ -214,12 +229,17 @@
 
 
 def _without_identity(disk: Disk, found: set[str]) -> Result[Store | None, Problem]:
-    """Tell a folder whose creation was cut short from one that lost its identity."""
+    """Return None for an empty or partly created folder.
+
+    Errors:
+        ``identity-missing`` if the log or vote is in use or unreadable, which means
+        that the identity was lost.
+    """
     is_new = files.LOG not in found or _is_unused_log(disk)
     has_voted = files.VOTE in found and _has_voted(disk)
     if is_new and not has_voted:
         return Ok(None)
-    detail = f"missing beside a log or vote; {files.WAY_OUT}"
+    detail = f"missing although the folder has a log or vote; {files.WAY_OUT}"
     return Error(Problem("identity-missing", detail, files.IDENTITY))
 
 
@@ -251,7 +271,10 @@
 
 
 def _entries_after(snapshot: Snapshot, log: files.LogFile) -> tuple[Entry, ...]:
-    """Return the log's entries after a snapshot that may be newer than the log."""
+    """Return the log entries after a snapshot, which may be newer than the log's base.
+
+    If the log does not contain the snapshot's last entry, no entries are returned.
+    """
     if snapshot.log_index == log.base.log_index:
         return log.entries
     place = snapshot.log_index - log.base.log_index
@@ -260,6 +283,7 @@
 
 
 def _replace(disk: Disk, name: str, data: bytes) -> None:
+    """Atomically replace a file: a crash leaves the old or the new content."""
     temporary = name + files.TEMPORARY_SUFFIX
     disk.replace(temporary, data)
     disk.sync(temporary)
--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -52,7 +52,7 @@
 
 
 def after(steps):
-    """Return what a store holds after some steps."""
+    """Return the state read back after the given writes."""
     disk, store = started()
     for step in steps:
         assert store.write(step).is_ok()
