Rename Scan to ScanResult

The class is the result of scanning a file for frames.

Rename: libs/storage/src/kumquatmux_storage/frames.py Scan ScanResult

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -33,7 +33,7 @@
 FRAME_HEADER_BYTES = _frame.size
 
 
-class Scan(NamedTuple):
+class ScanResult(NamedTuple):
     """Result of reading the valid frames at the start of a file.
 
     Attributes:
@@ -81,7 +81,7 @@
     return Ok(None)
 
 
-def scan(data: bytes) -> Scan:
+def scan(data: bytes) -> ScanResult:
     """Read the valid frames of a file whose header has already been checked."""
     payloads: list[bytes] = []
     offset = HEADER_BYTES
@@ -89,10 +89,10 @@
         payload = _payload_at(data, offset)
         if payload is None:
             is_torn = _is_torn(data, offset)
-            return Scan(tuple(payloads), offset, is_torn, not is_torn)
+            return ScanResult(tuple(payloads), offset, is_torn, not is_torn)
         payloads.append(payload)
         offset += FRAME_HEADER_BYTES + len(payload) + len(END_MARK)
-    return Scan(tuple(payloads), offset)
+    return ScanResult(tuple(payloads), offset)
 
 
 def _payload_at(data: bytes, offset: int) -> bytes | None:
