--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -42,7 +42,7 @@
     folder: str
 
 
-class Base(NamedTuple):
+class LogHeader(NamedTuple):
     """First frame of a log file, which gives its position in the replicated log.
 
     Attributes:
@@ -78,7 +78,7 @@
         is_torn: Whether an incomplete write follows the valid frames.
     """
 
-    base: Base
+    base: LogHeader
     entries: tuple[Entry, ...]
     length: int
     is_torn: bool
@@ -140,7 +140,7 @@
     if found.is_damaged or not found.payloads:
         detail = f"damaged at offset {found.length}"
         return _with_way_out(Problem("log-damaged", detail, LOG))
-    base = _decode(found.payloads[0], Base, LOG, frames.HEADER_BYTES)
+    base = _decode(found.payloads[0], LogHeader, LOG, frames.HEADER_BYTES)
     if base.is_error():
         return Error(base.error)
     synced = _synced_length(disk, base.ok.generation)
@@ -164,7 +164,7 @@
 
 
 def _replay(
-    base: Base, payloads: tuple[bytes, ...]
+    base: LogHeader, payloads: tuple[bytes, ...]
 ) -> Result[tuple[Entry, ...], Problem]:
     """Decode batches of entries and apply them in order; later entries overwrite."""
     entries: list[Entry] = []
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -12,7 +12,7 @@
 from kumquatmux_core.problems import Problem
 from kumquatmux_storage import files, frames
 from kumquatmux_storage.disk import Disk, problem_of
-from kumquatmux_storage.files import Base, Identity, SyncedLength
+from kumquatmux_storage.files import Identity, LogHeader, SyncedLength
 
 
 class Store:
@@ -87,7 +87,7 @@
     def rewrite_log(self, snapshot: Snapshot) -> None:
         """Rewrite the log file so that it starts after a snapshot."""
         generation = self.base.generation + 1
-        self.base = Base(generation, snapshot.log_index, snapshot.term)
+        self.base = LogHeader(generation, snapshot.log_index, snapshot.term)
         data = log_bytes(self.base, tuple(self.entries))
         _replace(self.disk, files.LOG, data)
         self.length = len(data)
@@ -168,7 +168,7 @@
     Errors:
         ``disk-full`` or ``disk-failed``.
     """
-    base = Base(1, first.snapshot.log_index, first.snapshot.term)
+    base = LogHeader(1, first.snapshot.log_index, first.snapshot.term)
     data = log_bytes(base, first.entries)
     try:
         replace_file(disk, files.VOTE, first.vote)
@@ -192,7 +192,7 @@
     _replace(disk, name, files.whole_file(name, record))
 
 
-def log_bytes(base: Base, entries: tuple[Entry, ...]) -> bytes:
+def log_bytes(base: LogHeader, entries: tuple[Entry, ...]) -> bytes:
     """Return the content of a log file with the given first frame and entries."""
     data = frames.file_header(files.KINDS[files.LOG])
     data += frames.frame(files.encode(base), len(data))
