--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -93,7 +93,7 @@
     """Return the content of a file that stores a single record."""
     payload = encode(record)
     header = frames.file_header(KINDS[name])
-    return header + frames.frame(payload, len(header))
+    return header + frames.encode_frame(payload, len(header))
 
 
 def read_record(disk: Disk, name: str, record_type: Any) -> Result[Any, Problem]:
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -54,7 +54,7 @@
     return _header.pack(MAGIC, FORMAT_VERSION, kind, 0)
 
 
-def frame(payload: bytes, offset: int) -> bytes:
+def encode_frame(payload: bytes, offset: int) -> bytes:
     """Return a payload encoded as the frame at an offset in bytes of its file."""
     head = _frame.pack(len(payload), _checksum(payload, offset))
     return head + payload + END_MARK
--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -148,7 +148,7 @@
 def test_a_torn_end_is_cut_and_written_over():
     disk, store = started()
     store.write(STEPS[1])
-    disk.files[files.LOG].data += frames.frame(b"unfinished", store.length)[:-3]
+    disk.files[files.LOG].data += frames.encode_frame(b"unfinished", store.length)[:-3]
     again = open_store(disk).ok
     assert again.restored.entries == (entry(1), entry(2))
     assert again.write(Persist(9, entries=(entry(3),))).is_ok()
@@ -159,9 +159,9 @@
 def test_an_end_that_lacks_the_few_bytes_in_a_last_sector_is_torn(lost):
     disk, store = started()
     payload = bytes(frames.SECTOR_BYTES + lost)
-    room = len(payload) - len(frames.frame(payload, store.length))
+    room = len(payload) - len(frames.encode_frame(payload, store.length))
     size = (room - store.length + lost - 1) % frames.SECTOR_BYTES + 1
-    frame = frames.frame(b"\xff" * size, store.length)
+    frame = frames.encode_frame(b"\xff" * size, store.length)
     whole = disk.files[files.LOG].data + frame
     assert len(whole) % frames.SECTOR_BYTES == lost
     disk.files[files.LOG].data = whole[:-lost] + bytes(lost)
