Rename file_header to encode_file_header

The function encodes the file header.

Rename: libs/storage/src/kumquatmux_storage/frames.py file_header encode_file_header

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -92,7 +92,7 @@
 def whole_file(name: str, record: NamedTuple) -> bytes:
     """Return the content of a file that stores a single record."""
     payload = encode(record)
-    header = frames.file_header(KINDS[name])
+    header = frames.encode_file_header(KINDS[name])
     return header + frames.encode_frame(payload, len(header))
 
 
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -49,7 +49,7 @@
     is_damaged: bool = False
 
 
-def file_header(kind: int) -> bytes:
+def encode_file_header(kind: int) -> bytes:
     """Return the file header for a file kind (0 to 255)."""
     return _header.pack(MAGIC, FORMAT_VERSION, kind, 0)
 
