Rename check_header to check_file_header

The checked header belongs to the file, not to a frame.

Rename: libs/storage/src/kumquatmux_storage/frames.py check_header check_file_header

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -104,7 +104,7 @@
         ``file-content``.
     """
     data = disk.read(name)
-    header = frames.check_header(data, KINDS[name], name)
+    header = frames.check_file_header(data, KINDS[name], name)
     if header.is_error():
         return _with_way_out(header.error)
     found = frames.scan(data)
@@ -133,7 +133,7 @@
         consecutive; or an error of the file header or of decoding a frame.
     """
     data = disk.read(LOG)
-    header = frames.check_header(data, KINDS[LOG], LOG)
+    header = frames.check_file_header(data, KINDS[LOG], LOG)
     if header.is_error():
         return _with_way_out(header.error)
     found = frames.scan(data)
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -60,7 +60,7 @@
     return head + payload + END_MARK
 
 
-def check_header(data: bytes, kind: int, name: str) -> Result[None, Problem]:
+def check_file_header(data: bytes, kind: int, name: str) -> Result[None, Problem]:
     """Check that a file has the expected kind and a supported format version.
 
     Errors:
