--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -107,7 +107,7 @@
     header = frames.check_file_header(data, KINDS[name], name)
     if header.is_error():
         return _with_way_out(header.error)
-    found = frames.scan(data)
+    found = frames.scan_frames(data)
     if len(found.payloads) != 1 or found.length != len(data):
         detail = f"damaged at offset {found.length}"
         return _with_way_out(Problem("file-damaged", detail, name))
@@ -136,7 +136,7 @@
     header = frames.check_file_header(data, KINDS[LOG], LOG)
     if header.is_error():
         return _with_way_out(header.error)
-    found = frames.scan(data)
+    found = frames.scan_frames(data)
     if found.is_damaged or not found.payloads:
         detail = f"damaged at offset {found.length}"
         return _with_way_out(Problem("log-damaged", detail, LOG))
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -81,7 +81,7 @@
     return Ok(None)
 
 
-def scan(data: bytes) -> ScanResult:
+def scan_frames(data: bytes) -> ScanResult:
     """Read the valid frames of a file whose header has already been checked."""
     payloads: list[bytes] = []
     offset = HEADER_BYTES
