--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -84,14 +84,14 @@
     is_torn: bool
 
 
-def encode(record: NamedTuple | tuple[Entry, ...]) -> bytes:
+def encode_record(record: NamedTuple | tuple[Entry, ...]) -> bytes:
     """Encode a record as the payload of a frame."""
     return msgspec.msgpack.encode(record)
 
 
 def whole_file(name: str, record: NamedTuple) -> bytes:
     """Return the content of a file that stores a single record."""
-    payload = encode(record)
+    payload = encode_record(record)
     header = frames.encode_file_header(KINDS[name])
     return header + frames.encode_frame(payload, len(header))
 
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -70,7 +70,7 @@
             self._append(persist.entries)
 
     def _append(self, entries: tuple[Entry, ...]) -> None:
-        data = frames.encode_frame(files.encode(entries), self.length)
+        data = frames.encode_frame(files.encode_record(entries), self.length)
         self.disk.append(files.LOG, data)
         self.disk.sync(files.LOG)
         self.length += len(data)
@@ -195,9 +195,9 @@
 def log_bytes(base: LogHeader, entries: tuple[Entry, ...]) -> bytes:
     """Return the content of a log file with the given first frame and entries."""
     data = frames.encode_file_header(files.KINDS[files.LOG])
-    data += frames.encode_frame(files.encode(base), len(data))
+    data += frames.encode_frame(files.encode_record(base), len(data))
     if entries:
-        data += frames.encode_frame(files.encode(entries), len(data))
+        data += frames.encode_frame(files.encode_record(entries), len(data))
     return data
 
 
