--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -22,7 +22,7 @@
 
 KINDS = {IDENTITY: 1, VOTE: 2, SNAPSHOT: 3, LOG: 4, SYNCED: 5}
 
-WAY_OUT = (
+RECOVERY_ADVICE = (
     "nothing was changed; if the other control VMs have a majority, move this data "
     "folder away and restart, and this VM rejoins as a new replica"
 )
@@ -193,4 +193,4 @@
 
 
 def _with_way_out(problem: Problem) -> Result[Any, Problem]:
-    return Error(problem._replace(detail=f"{problem.detail}; {WAY_OUT}"))
+    return Error(problem._replace(detail=f"{problem.detail}; {RECOVERY_ADVICE}"))
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -208,7 +208,7 @@
         return _without_identity(disk, names & durable)
     missing = sorted(durable - names)
     if missing:
-        detail = f"missing although the folder has an identity; {files.WAY_OUT}"
+        detail = f"missing although the folder has an identity; {files.RECOVERY_ADVICE}"
         return Error(Problem("file-missing", detail, missing[0]))
     identity = files.read_record(disk, files.IDENTITY, Identity)
     if identity.is_error():
@@ -239,7 +239,7 @@
     has_voted = files.VOTE in found and _has_voted(disk)
     if is_new and not has_voted:
         return Ok(None)
-    detail = f"missing although the folder has a log or vote; {files.WAY_OUT}"
+    detail = f"missing although the folder has a log or vote; {files.RECOVERY_ADVICE}"
     return Error(Problem("identity-missing", detail, files.IDENTITY))
 
 
@@ -264,7 +264,7 @@
     if log.is_error():
         return Error(log.error)
     if snapshot.ok.log_index < log.ok.base.log_index:
-        detail = f"older than the log's first entry; {files.WAY_OUT}"
+        detail = f"older than the log's first entry; {files.RECOVERY_ADVICE}"
         return Error(Problem("snapshot-old", detail, files.SNAPSHOT))
     entries = _entries_after(snapshot.ok, log.ok)
     return Ok(FolderContent(DurableState(vote.ok, snapshot.ok, entries), log.ok))
