--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -20,7 +20,7 @@
 SYNCED = "synced"
 TEMPORARY_SUFFIX = ".tmp"
 
-KINDS = {IDENTITY: 1, VOTE: 2, SNAPSHOT: 3, LOG: 4, SYNCED: 5}
+FILE_KINDS = {IDENTITY: 1, VOTE: 2, SNAPSHOT: 3, LOG: 4, SYNCED: 5}
 
 RECOVERY_ADVICE = (
     "nothing was changed; if the other control VMs have a majority, move this data "
@@ -92,7 +92,7 @@
 def whole_file(name: str, record: NamedTuple) -> bytes:
     """Return the content of a file that stores a single record."""
     payload = encode_record(record)
-    header = frames.encode_file_header(KINDS[name])
+    header = frames.encode_file_header(FILE_KINDS[name])
     return header + frames.encode_frame(payload, len(header))
 
 
@@ -104,7 +104,7 @@
         ``file-content``.
     """
     data = disk.read(name)
-    header = frames.check_file_header(data, KINDS[name], name)
+    header = frames.check_file_header(data, FILE_KINDS[name], name)
     if header.is_error():
         return _with_way_out(header.error)
     found = frames.scan_frames(data)
@@ -133,7 +133,7 @@
         consecutive; or an error of the file header or of decoding a frame.
     """
     data = disk.read(LOG)
-    header = frames.check_file_header(data, KINDS[LOG], LOG)
+    header = frames.check_file_header(data, FILE_KINDS[LOG], LOG)
     if header.is_error():
         return _with_way_out(header.error)
     found = frames.scan_frames(data)
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -194,7 +194,7 @@
 
 def log_bytes(base: LogHeader, entries: tuple[Entry, ...]) -> bytes:
     """Return the content of a log file with the given first frame and entries."""
-    data = frames.encode_file_header(files.KINDS[files.LOG])
+    data = frames.encode_file_header(files.FILE_KINDS[files.LOG])
     data += frames.encode_frame(files.encode_record(base), len(data))
     if entries:
         data += frames.encode_frame(files.encode_record(entries), len(data))
