--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -137,7 +137,7 @@
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
         lock = os.open(folder / LOCK_NAME, flags, 0o600)
     except OSError as error:
-        return Error(problem_of(error, str(folder)))
+        return Error(problem_from_os_error(error, str(folder)))
     try:
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except OSError:
@@ -147,7 +147,7 @@
     return Ok(FolderDisk(folder, lock))
 
 
-def problem_of(error: OSError, subject: str) -> Problem:
+def problem_from_os_error(error: OSError, subject: str) -> Problem:
     """Convert an operating system error to a ``Problem``."""
     if error.errno in FULL_ERRORS:
         detail = "the disk is full; free space and restart this process"
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -11,7 +11,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.problems import Problem
 from kumquatmux_storage import files, frames
-from kumquatmux_storage.disk import Disk, problem_of
+from kumquatmux_storage.disk import Disk, problem_from_os_error
 from kumquatmux_storage.files import Identity, LogHeader, SyncedLength
 
 
@@ -56,7 +56,7 @@
         try:
             self._write(persist)
         except OSError as error:
-            self.failure = problem_of(error, error.filename or "data folder")
+            self.failure = problem_from_os_error(error, error.filename or "data folder")
             log_decision("storage-failed", problem=self.failure)
             return Error(self.failure)
         return Ok(None)
@@ -157,7 +157,7 @@
     try:
         return _open(disk)
     except OSError as error:
-        return Error(problem_of(error, error.filename or "data folder"))
+        return Error(problem_from_os_error(error, error.filename or "data folder"))
 
 
 def create_store(
@@ -176,7 +176,7 @@
         _replace(disk, files.LOG, data)
         replace_file(disk, files.IDENTITY, identity)
     except OSError as error:
-        return Error(problem_of(error, error.filename or "data folder"))
+        return Error(problem_from_os_error(error, error.filename or "data folder"))
     log_decision(
         "storage-created",
         cluster=identity.cluster,
--- a/libs/storage/tests/test_disk.py
+++ b/libs/storage/tests/test_disk.py
@@ -6,7 +6,7 @@
 
 from kumquatmux_agreement.entries import Entry, EntryKind, ReplicaId, founding_state
 from kumquatmux_agreement.events import Persist
-from kumquatmux_storage.disk import open_folder, problem_of
+from kumquatmux_storage.disk import open_folder, problem_from_os_error
 from kumquatmux_storage.store import Identity, open_or_create, open_store
 
 ME = ReplicaId("a", "f1")
@@ -47,4 +47,4 @@
     ],
 )
 def test_errors_of_the_system_are_named(number, code):
-    assert problem_of(OSError(number, "text"), "log").code == code
+    assert problem_from_os_error(OSError(number, "text"), "log").code == code
