Rename replace_file to replace_record_file

The function replaces a file that holds one record.

Rename: libs/storage/src/kumquatmux_storage/store.py replace_file replace_record_file

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -63,7 +63,7 @@
 
     def _write(self, persist: Persist) -> None:
         if persist.vote is not None:
-            replace_file(self.disk, files.VOTE, persist.vote)
+            replace_record_file(self.disk, files.VOTE, persist.vote)
         if persist.snapshot is not None:
             self._write_snapshot(persist.snapshot, keep=persist.keep_entries)
         if persist.entries:
@@ -79,7 +79,7 @@
         self._note_length()
 
     def _write_snapshot(self, snapshot: Snapshot, *, keep: bool) -> None:
-        replace_file(self.disk, files.SNAPSHOT, snapshot)
+        replace_record_file(self.disk, files.SNAPSHOT, snapshot)
         kept = [one for one in self.entries if one.log_index > snapshot.log_index]
         self.entries = kept if keep else []
         self.rewrite_log(snapshot)
@@ -171,10 +171,10 @@
     base = LogHeader(1, first.snapshot.log_index, first.snapshot.term)
     data = log_bytes(base, first.entries)
     try:
-        replace_file(disk, files.VOTE, first.vote)
-        replace_file(disk, files.SNAPSHOT, first.snapshot)
+        replace_record_file(disk, files.VOTE, first.vote)
+        replace_record_file(disk, files.SNAPSHOT, first.snapshot)
         _replace(disk, files.LOG, data)
-        replace_file(disk, files.IDENTITY, identity)
+        replace_record_file(disk, files.IDENTITY, identity)
     except OSError as error:
         return Error(problem_from_os_error(error, error.filename or "data folder"))
     log_decision(
@@ -187,7 +187,7 @@
     return Ok(Store(disk, identity, first, log))
 
 
-def replace_file(disk: Disk, name: str, record: NamedTuple) -> None:
+def replace_record_file(disk: Disk, name: str, record: NamedTuple) -> None:
     """Atomically replace a file that stores a single record."""
     _replace(disk, name, files.whole_file(name, record))
 
