Rename _replace to _replace_atomically

The function replaces a file atomically by rename.

Rename: libs/storage/src/kumquatmux_storage/store.py _replace _replace_atomically

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -89,7 +89,7 @@
         generation = self.base.generation + 1
         self.base = LogHeader(generation, snapshot.log_index, snapshot.term)
         data = log_bytes(self.base, tuple(self.entries))
-        _replace(self.disk, files.LOG, data)
+        _replace_atomically(self.disk, files.LOG, data)
         self.length = len(data)
         self._note_length()
 
@@ -173,7 +173,7 @@
     try:
         replace_record_file(disk, files.VOTE, first.vote)
         replace_record_file(disk, files.SNAPSHOT, first.snapshot)
-        _replace(disk, files.LOG, data)
+        _replace_atomically(disk, files.LOG, data)
         replace_record_file(disk, files.IDENTITY, identity)
     except OSError as error:
         return Error(problem_from_os_error(error, error.filename or "data folder"))
@@ -189,7 +189,7 @@
 
 def replace_record_file(disk: Disk, name: str, record: NamedTuple) -> None:
     """Atomically replace a file that stores a single record."""
-    _replace(disk, name, files.whole_file(name, record))
+    _replace_atomically(disk, name, files.whole_file(name, record))
 
 
 def log_bytes(base: LogHeader, entries: tuple[Entry, ...]) -> bytes:
@@ -282,7 +282,7 @@
     return log.entries[place:] if is_held else ()
 
 
-def _replace(disk: Disk, name: str, data: bytes) -> None:
+def _replace_atomically(disk: Disk, name: str, data: bytes) -> None:
     """Atomically replace a file: a crash leaves the old or the new content."""
     temporary = name + files.TEMPORARY_SUFFIX
     disk.replace(temporary, data)
