Rename base to log_header

The attribute is the header frame of the log file.

Rename: libs/storage/src/kumquatmux_storage/store.py base log_header

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -40,7 +40,7 @@
         self.identity = identity
         self.restored = restored
         self.entries = list(log.entries)
-        self.base = log.base
+        self.log_header = log.base
         self.length = log.length
         self.failure: Problem | None = None
 
@@ -74,7 +74,7 @@
         self.disk.append(files.LOG, data)
         self.disk.sync(files.LOG)
         self.length += len(data)
-        place = entries[0].log_index - self.base.log_index - 1
+        place = entries[0].log_index - self.log_header.log_index - 1
         self.entries[place:] = entries
         self._note_length()
 
@@ -86,9 +86,9 @@
 
     def rewrite_log(self, snapshot: Snapshot) -> None:
         """Rewrite the log file so that it starts after a snapshot."""
-        generation = self.base.generation + 1
-        self.base = LogHeader(generation, snapshot.log_index, snapshot.term)
-        data = log_bytes(self.base, tuple(self.entries))
+        generation = self.log_header.generation + 1
+        self.log_header = LogHeader(generation, snapshot.log_index, snapshot.term)
+        data = log_bytes(self.log_header, tuple(self.entries))
         _replace_atomically(self.disk, files.LOG, data)
         self.length = len(data)
         self._note_length()
@@ -99,7 +99,7 @@
         The recorded length is not synced itself and may be out of date: it only helps
         to tell damage to synced data from an incomplete write.
         """
-        note = SyncedLength(self.base.generation, self.length)
+        note = SyncedLength(self.log_header.generation, self.length)
         self.disk.replace(files.SYNCED, files.whole_file(files.SYNCED, note))
 
 
