Rename log_index to previous_log_index

The field is the index of the entry before the file's first one.

Rename: libs/storage/src/kumquatmux_storage/files.py log_index previous_log_index

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -52,7 +52,7 @@
     """
 
     generation: int
-    log_index: int
+    previous_log_index: int
     term: int
 
 
@@ -173,7 +173,7 @@
         if batch.is_error():
             return Error(batch.error)
         for entry in batch.ok:
-            place = entry.log_index - base.log_index - 1
+            place = entry.log_index - base.previous_log_index - 1
             if not 0 <= place <= len(entries):
                 detail = f"entry {entry.log_index} does not follow the preceding entry"
                 return _with_way_out(Problem("log-gap", detail, LOG))
