Rename term to previous_term

The field is the term of the entry before the file's first one.

Rename: libs/storage/src/kumquatmux_storage/files.py term previous_term

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -53,7 +53,7 @@
 
     generation: int
     previous_log_index: int
-    term: int
+    previous_term: int
 
 
 class SyncedLength(NamedTuple):
