Rename synced_names to synced_files

The attribute maps names to files.

Rename: libs/storage/src/kumquatmux_storage/memory.py synced_names synced_files

--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -40,7 +40,7 @@
 
     def __init__(self) -> None:
         self.files: dict[str, MemoryFile] = {}
-        self.synced_names: dict[str, MemoryFile] = {}
+        self.synced_files: dict[str, MemoryFile] = {}
         self.operations = 0
         self.crash_at = -1
         self.is_full = False
@@ -94,7 +94,7 @@
         self._step()
         if self.fails_sync:
             raise OSError(errno.EIO, "input/output error", "folder")
-        self.synced_names = dict(self.files)
+        self.synced_files = dict(self.files)
         self._step()
 
     def crash(self, random: Random) -> None:
@@ -103,11 +103,11 @@
         All simulated faults are cleared.
         """
         if random.random() < 0.5:
-            self.files = dict(self.synced_names)
+            self.files = dict(self.synced_files)
         for file in self.files.values():
             file.data = _torn(file, random)
             file.synced = file.data
-        self.synced_names = dict(self.files)
+        self.synced_files = dict(self.files)
         self.crash_at = -1
         self.is_full = False
         self.fails_sync = False
