--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -22,7 +22,7 @@
 
     def __init__(self) -> None:
         self.data = b""
-        self.synced = b""
+        self.synced_data = b""
 
 
 class MemoryDisk:
@@ -81,7 +81,7 @@
         if self.fails_sync:
             raise OSError(errno.EIO, "input/output error", name)
         file = self.files[name]
-        file.synced = file.data
+        file.synced_data = file.data
         self._step()
 
     def rename(self, old: str, new: str) -> None:
@@ -106,7 +106,7 @@
             self.files = dict(self.synced_files)
         for file in self.files.values():
             file.data = _torn(file, random)
-            file.synced = file.data
+            file.synced_data = file.data
         self.synced_files = dict(self.files)
         self.crash_at = -1
         self.is_full = False
@@ -136,13 +136,13 @@
 
     The unsynced data may be truncated, and sectors of it may be zeroed.
     """
-    if not file.data.startswith(file.synced):
-        return random.choice((file.data, file.synced))
-    length = random.randint(len(file.synced), len(file.data))
+    if not file.data.startswith(file.synced_data):
+        return random.choice((file.data, file.synced_data))
+    length = random.randint(len(file.synced_data), len(file.data))
     data = file.data[:length]
     if random.random() < 0.5:
         return data
-    first = -(-len(file.synced) // SECTOR_BYTES) * SECTOR_BYTES
+    first = -(-len(file.synced_data) // SECTOR_BYTES) * SECTOR_BYTES
     for start in range(first, length, SECTOR_BYTES):
         if random.random() < 0.5:
             end = min(start + SECTOR_BYTES, length)
