Rename _note_length to _record_synced_length

The method records the synced length.

Rename: libs/storage/src/kumquatmux_storage/store.py _note_length _record_synced_length

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -76,7 +76,7 @@
         self.length += len(data)
         place = entries[0].log_index - self.log_header.previous_log_index - 1
         self.entries[place:] = entries
-        self._note_length()
+        self._record_synced_length()
 
     def _write_snapshot(self, snapshot: Snapshot, *, keep: bool) -> None:
         replace_record_file(self.disk, files.SNAPSHOT, snapshot)
@@ -91,9 +91,9 @@
         data = log_bytes(self.log_header, tuple(self.entries))
         _replace_atomically(self.disk, files.LOG, data)
         self.length = len(data)
-        self._note_length()
+        self._record_synced_length()
 
-    def _note_length(self) -> None:
+    def _record_synced_length(self) -> None:
         """Record how much of the log file is synced.
 
         The recorded length is not synced itself and may be out of date: it only helps
