Rename log to log_file

The field is the decoded log file.

Rename: libs/storage/src/kumquatmux_storage/store.py log log_file

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -112,7 +112,7 @@
     """
 
     state: DurableState
-    log: files.LogFile
+    log_file: files.LogFile
 
 
 def open_or_create(
@@ -216,7 +216,7 @@
     content = _read_content(disk)
     if content.is_error():
         return Error(content.error)
-    log = content.ok.log
+    log = content.ok.log_file
     if log.is_torn:
         disk.truncate(files.LOG, log.length)
         disk.sync(files.LOG)
