--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -78,7 +78,7 @@
         is_torn: Whether an incomplete write follows the valid frames.
     """
 
-    header: LogHeader
+    base: LogHeader
     entries: tuple[Entry, ...]
     length: int
     is_torn: bool
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -40,7 +40,7 @@
         self.identity = identity
         self.restored = restored
         self.entries = list(log.entries)
-        self.log_header = log.header
+        self.log_header = log.base
         self.length = log.length
         self.failure: Problem | None = None
 
@@ -223,7 +223,7 @@
         log_decision("storage-cut", file=files.LOG, offset=log.length)
     state = content.ok.state
     store = Store(disk, identity.ok, state, log._replace(entries=state.entries))
-    if state.snapshot.log_index > log.header.previous_log_index:
+    if state.snapshot.log_index > log.base.previous_log_index:
         store.rewrite_log(state.snapshot)
     return Ok(store)
 
@@ -245,7 +245,7 @@
 
 def _is_unused_log(disk: Disk) -> bool:
     log = files.read_log(disk)
-    return log.is_ok() and not log.ok.entries and log.ok.header.previous_log_index == 0
+    return log.is_ok() and not log.ok.entries and log.ok.base.previous_log_index == 0
 
 
 def _has_voted(disk: Disk) -> bool:
@@ -263,7 +263,7 @@
     log = files.read_log(disk)
     if log.is_error():
         return Error(log.error)
-    if snapshot.ok.log_index < log.ok.header.previous_log_index:
+    if snapshot.ok.log_index < log.ok.base.previous_log_index:
         detail = f"older than the log's first entry; {files.RECOVERY_ADVICE}"
         return Error(Problem("snapshot-old", detail, files.SNAPSHOT))
     entries = _entries_after(snapshot.ok, log.ok)
@@ -275,9 +275,9 @@
 
     If the log does not contain the snapshot's last entry, no entries are returned.
     """
-    if snapshot.log_index == log.header.previous_log_index:
+    if snapshot.log_index == log.base.previous_log_index:
         return log.entries
-    place = snapshot.log_index - log.header.previous_log_index
+    place = snapshot.log_index - log.base.previous_log_index
     is_held = place <= len(log.entries) and log.entries[place - 1].term == snapshot.term
     return log.entries[place:] if is_held else ()
 
