Rename _with_way_out to _with_recovery_advice

The function adds recovery advice to an error.

Rename: libs/storage/src/kumquatmux_storage/files.py _with_way_out _with_recovery_advice

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -106,11 +106,11 @@
     data = disk.read(name)
     header = frames.check_file_header(data, FILE_KINDS[name], name)
     if header.is_error():
-        return _with_way_out(header.error)
+        return _with_recovery_advice(header.error)
     found = frames.scan_frames(data)
     if len(found.payloads) != 1 or found.length != len(data):
         detail = f"damaged at offset {found.length}"
-        return _with_way_out(Problem("file-damaged", detail, name))
+        return _with_recovery_advice(Problem("file-damaged", detail, name))
     return _decode(found.payloads[0], record_type, name, frames.HEADER_BYTES)
 
 
@@ -135,18 +135,18 @@
     data = disk.read(LOG)
     header = frames.check_file_header(data, FILE_KINDS[LOG], LOG)
     if header.is_error():
-        return _with_way_out(header.error)
+        return _with_recovery_advice(header.error)
     found = frames.scan_frames(data)
     if found.is_damaged or not found.payloads:
         detail = f"damaged at offset {found.length}"
-        return _with_way_out(Problem("log-damaged", detail, LOG))
+        return _with_recovery_advice(Problem("log-damaged", detail, LOG))
     base = _decode(found.payloads[0], LogHeader, LOG, frames.HEADER_BYTES)
     if base.is_error():
         return Error(base.error)
     synced = _synced_length(disk, base.ok.generation)
     if found.length < synced:
         detail = f"damaged at offset {found.length}, synced up to {synced}"
-        return _with_way_out(Problem("log-damaged", detail, LOG))
+        return _with_recovery_advice(Problem("log-damaged", detail, LOG))
     entries = _replay(base.ok, found.payloads[1:])
     if entries.is_error():
         return Error(entries.error)
@@ -176,7 +176,7 @@
             place = entry.log_index - base.previous_log_index - 1
             if not 0 <= place <= len(entries):
                 detail = f"entry {entry.log_index} does not follow the preceding entry"
-                return _with_way_out(Problem("log-gap", detail, LOG))
+                return _with_recovery_advice(Problem("log-gap", detail, LOG))
             del entries[place:]
             entries.append(entry)
     return Ok(tuple(entries))
@@ -189,8 +189,8 @@
         return Ok(msgspec.msgpack.decode(payload, type=record_type))
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         problem = Problem("file-content", f"at offset {offset}: {error}", name)
-        return _with_way_out(problem)
+        return _with_recovery_advice(problem)
 
 
-def _with_way_out(problem: Problem) -> Result[Any, Problem]:
+def _with_recovery_advice(problem: Problem) -> Result[Any, Problem]:
     return Error(problem._replace(detail=f"{problem.detail}; {RECOVERY_ADVICE}"))
