Rename _replay to _decode_entries

The function decodes the log entries.

Rename: libs/storage/src/kumquatmux_storage/files.py _replay _decode_entries

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -147,7 +147,7 @@
     if found.length < synced:
         detail = f"damaged at offset {found.length}, synced up to {synced}"
         return _with_recovery_advice(Problem("log-damaged", detail, LOG))
-    entries = _replay(base.ok, found.payloads[1:])
+    entries = _decode_entries(base.ok, found.payloads[1:])
     if entries.is_error():
         return Error(entries.error)
     return Ok(LogFile(base.ok, entries.ok, found.length, found.is_torn))
@@ -163,7 +163,7 @@
     return record.ok.length
 
 
-def _replay(
+def _decode_entries(
     base: LogHeader, payloads: tuple[bytes, ...]
 ) -> Result[tuple[Entry, ...], Problem]:
     """Decode batches of entries and apply them in order; later entries overwrite."""
