--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -111,7 +111,7 @@
     if len(found.payloads) != 1 or found.length != len(data):
         detail = f"damaged at offset {found.length}"
         return _with_recovery_advice(Problem("file-damaged", detail, name))
-    return _decode(found.payloads[0], record_type, name, frames.HEADER_BYTES)
+    return _decode_payload(found.payloads[0], record_type, name, frames.HEADER_BYTES)
 
 
 def read_vote(disk: Disk) -> Result[VoteRecord, Problem]:
@@ -140,7 +140,7 @@
     if found.is_damaged or not found.payloads:
         detail = f"damaged at offset {found.length}"
         return _with_recovery_advice(Problem("log-damaged", detail, LOG))
-    base = _decode(found.payloads[0], LogHeader, LOG, frames.HEADER_BYTES)
+    base = _decode_payload(found.payloads[0], LogHeader, LOG, frames.HEADER_BYTES)
     if base.is_error():
         return Error(base.error)
     synced = _synced_length(disk, base.ok.generation)
@@ -169,7 +169,7 @@
     """Decode batches of entries and apply them in order; later entries overwrite."""
     entries: list[Entry] = []
     for payload in payloads:
-        batch = _decode(payload, tuple[Entry, ...], LOG, 0)
+        batch = _decode_payload(payload, tuple[Entry, ...], LOG, 0)
         if batch.is_error():
             return Error(batch.error)
         for entry in batch.ok:
@@ -182,7 +182,7 @@
     return Ok(tuple(entries))
 
 
-def _decode(
+def _decode_payload(
     payload: bytes, record_type: Any, name: str, offset: int
 ) -> Result[Any, Problem]:
     try:
