--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -81,7 +81,7 @@
     base: LogHeader
     entries: tuple[Entry, ...]
     length: int
-    is_torn: bool
+    has_incomplete_write: bool
 
 
 def encode_record(record: NamedTuple | tuple[Entry, ...]) -> bytes:
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -217,7 +217,7 @@
     if content.is_error():
         return Error(content.error)
     log = content.ok.log_file
-    if log.is_torn:
+    if log.has_incomplete_write:
         disk.truncate(files.LOG, log.length)
         disk.sync(files.LOG)
         log_decision("storage-cut", file=files.LOG, offset=log.length)
