Rename is_torn to has_incomplete_write

The field says that an incomplete write follows.

Rename: libs/storage/src/kumquatmux_storage/frames.py is_torn has_incomplete_write

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -150,7 +150,7 @@
     entries = _decode_entries(base.ok, found.payloads[1:])
     if entries.is_error():
         return Error(entries.error)
-    return Ok(LogFile(base.ok, entries.ok, found.length, found.is_torn))
+    return Ok(LogFile(base.ok, entries.ok, found.length, found.has_incomplete_write))
 
 
 def _synced_length(disk: Disk, generation: int) -> int:
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -45,7 +45,7 @@
 
     payloads: tuple[bytes, ...]
     length: int
-    is_torn: bool = False
+    has_incomplete_write: bool = False
     is_damaged: bool = False
 
 
