Rename _is_torn to _is_incomplete_write

The function tests for an interrupted write.

Rename: libs/storage/src/kumquatmux_storage/frames.py _is_torn _is_incomplete_write

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -88,7 +88,7 @@
     while offset < len(data):
         payload = _payload_at(data, offset)
         if payload is None:
-            is_torn = _is_torn(data, offset)
+            is_torn = _is_incomplete_write(data, offset)
             return ScanResult(tuple(payloads), offset, is_torn, not is_torn)
         payloads.append(payload)
         offset += FRAME_HEADER_BYTES + len(payload) + len(END_MARK)
@@ -108,7 +108,7 @@
     return payload if _checksum(payload, offset) == checksum else None
 
 
-def _is_torn(data: bytes, offset: int) -> bool:
+def _is_incomplete_write(data: bytes, offset: int) -> bool:
     """Return whether the data after an offset is a write interrupted by a crash.
 
     An interrupted write ends early or misses whole sectors, which read as zeros. A
