--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -108,8 +108,8 @@
     if header.is_error():
         return _with_recovery_advice(header.error)
     found = frames.scan_frames(data)
-    if len(found.payloads) != 1 or found.length != len(data):
-        detail = f"damaged at offset {found.length}"
+    if len(found.payloads) != 1 or found.end_offset != len(data):
+        detail = f"damaged at offset {found.end_offset}"
         return _with_recovery_advice(Problem("file-damaged", detail, name))
     return _decode_payload(found.payloads[0], record_type, name, frames.HEADER_BYTES)
 
@@ -138,19 +138,21 @@
         return _with_recovery_advice(header.error)
     found = frames.scan_frames(data)
     if found.is_damaged or not found.payloads:
-        detail = f"damaged at offset {found.length}"
+        detail = f"damaged at offset {found.end_offset}"
         return _with_recovery_advice(Problem("log-damaged", detail, LOG))
     base = _decode_payload(found.payloads[0], LogHeader, LOG, frames.HEADER_BYTES)
     if base.is_error():
         return Error(base.error)
     synced = _synced_length(disk, base.ok.generation)
-    if found.length < synced:
-        detail = f"damaged at offset {found.length}, synced up to {synced}"
+    if found.end_offset < synced:
+        detail = f"damaged at offset {found.end_offset}, synced up to {synced}"
         return _with_recovery_advice(Problem("log-damaged", detail, LOG))
     entries = _decode_entries(base.ok, found.payloads[1:])
     if entries.is_error():
         return Error(entries.error)
-    return Ok(LogFile(base.ok, entries.ok, found.length, found.has_incomplete_write))
+    return Ok(
+        LogFile(base.ok, entries.ok, found.end_offset, found.has_incomplete_write)
+    )
 
 
 def _synced_length(disk: Disk, generation: int) -> int:
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -44,7 +44,7 @@
     """
 
     payloads: tuple[bytes, ...]
-    length: int
+    end_offset: int
     has_incomplete_write: bool = False
     is_damaged: bool = False
 
