Rename _frame to _frame_struct

The value is the struct format of a frame header.

Rename: libs/storage/src/kumquatmux_storage/frames.py _frame _frame_struct

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -27,10 +27,10 @@
 
 END_MARK = b"\x01"
 
-_frame = struct.Struct(">IQ")
+_frame_struct = struct.Struct(">IQ")
 _header = struct.Struct(">4sBBH")
 
-FRAME_HEADER_BYTES = _frame.size
+FRAME_HEADER_BYTES = _frame_struct.size
 
 
 class ScanResult(NamedTuple):
@@ -56,7 +56,7 @@
 
 def encode_frame(payload: bytes, offset: int) -> bytes:
     """Return a payload encoded as the frame at an offset in bytes of its file."""
-    head = _frame.pack(len(payload), _checksum(payload, offset))
+    head = _frame_struct.pack(len(payload), _checksum(payload, offset))
     return head + payload + END_MARK
 
 
@@ -100,7 +100,7 @@
     start = offset + FRAME_HEADER_BYTES
     if start > len(data):
         return None
-    length, checksum = _frame.unpack_from(data, offset)
+    length, checksum = _frame_struct.unpack_from(data, offset)
     end = start + length
     if not 0 < length <= FRAME_BYTES_MAX or data[end : end + 1] != END_MARK:
         return None
@@ -119,7 +119,7 @@
     start = offset + FRAME_HEADER_BYTES
     if start > len(data):
         return True
-    length, checksum = _frame.unpack_from(data, offset)
+    length, checksum = _frame_struct.unpack_from(data, offset)
     if _has_empty_sector(data, offset):
         return True
     is_short = length + len(END_MARK) > len(data) - start
