--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -28,7 +28,7 @@
 END_MARK = b"\x01"
 
 _frame_struct = struct.Struct(">IQ")
-_header = struct.Struct(">4sBBH")
+_file_header_struct = struct.Struct(">4sBBH")
 
 FRAME_HEADER_BYTES = _frame_struct.size
 
@@ -51,7 +51,7 @@
 
 def encode_file_header(kind: int) -> bytes:
     """Return the file header for a file kind (0 to 255)."""
-    return _header.pack(MAGIC, FORMAT_VERSION, kind, 0)
+    return _file_header_struct.pack(MAGIC, FORMAT_VERSION, kind, 0)
 
 
 def encode_frame(payload: bytes, offset: int) -> bytes:
@@ -72,7 +72,7 @@
                 "file-short", f"{len(data)} bytes, too short for a file header", name
             )
         )
-    magic, version, found, _ = _header.unpack_from(data)
+    magic, version, found, _ = _file_header_struct.unpack_from(data)
     if magic != MAGIC or found != kind:
         return Error(Problem("file-kind", "damaged at offset 0: wrong file kind", name))
     if version != FORMAT_VERSION:
