Rename HEADER_BYTES to FILE_HEADER_BYTES

There is a frame header as well.

Rename: libs/storage/src/kumquatmux_storage/frames.py HEADER_BYTES FILE_HEADER_BYTES

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -111,7 +111,9 @@
     if len(found.payloads) != 1 or found.end_offset != len(data):
         detail = f"damaged at offset {found.end_offset}"
         return _with_recovery_advice(Problem("file-damaged", detail, name))
-    return _decode_payload(found.payloads[0], record_type, name, frames.HEADER_BYTES)
+    return _decode_payload(
+        found.payloads[0], record_type, name, frames.FILE_HEADER_BYTES
+    )
 
 
 def read_vote(disk: Disk) -> Result[VoteRecord, Problem]:
@@ -140,7 +142,7 @@
     if found.is_damaged or not found.payloads:
         detail = f"damaged at offset {found.end_offset}"
         return _with_recovery_advice(Problem("log-damaged", detail, LOG))
-    base = _decode_payload(found.payloads[0], LogHeader, LOG, frames.HEADER_BYTES)
+    base = _decode_payload(found.payloads[0], LogHeader, LOG, frames.FILE_HEADER_BYTES)
     if base.is_error():
         return Error(base.error)
     synced = _synced_length(disk, base.ok.generation)
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -19,7 +19,7 @@
 
 MAGIC = b"KQMX"
 FORMAT_VERSION = 2
-HEADER_BYTES = 8
+FILE_HEADER_BYTES = 8
 FRAME_BYTES_MAX = 1 << 30
 SECTOR_BYTES = 512
 LENGTH_BYTES = 4
@@ -66,7 +66,7 @@
     Errors:
         ``file-short``, ``file-kind`` or ``file-version``.
     """
-    if len(data) < HEADER_BYTES:
+    if len(data) < FILE_HEADER_BYTES:
         return Error(
             Problem(
                 "file-short", f"{len(data)} bytes, too short for a file header", name
@@ -84,7 +84,7 @@
 def scan_frames(data: bytes) -> ScanResult:
     """Read the valid frames of a file whose header has already been checked."""
     payloads: list[bytes] = []
-    offset = HEADER_BYTES
+    offset = FILE_HEADER_BYTES
     while offset < len(data):
         payload = _payload_at(data, offset)
         if payload is None:
