--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -20,7 +20,7 @@
 MAGIC = b"KQMX"
 FORMAT_VERSION = 2
 FILE_HEADER_BYTES = 8
-FRAME_BYTES_MAX = 1 << 30
+MAX_PAYLOAD_BYTES = 1 << 30
 SECTOR_BYTES = 512
 LENGTH_BYTES = 4
 """Size of the payload length in a frame; all its bytes but the last may be zero."""
@@ -102,7 +102,7 @@
         return None
     length, checksum = _frame_struct.unpack_from(data, offset)
     end = start + length
-    if not 0 < length <= FRAME_BYTES_MAX or data[end : end + 1] != END_MARK:
+    if not 0 < length <= MAX_PAYLOAD_BYTES or data[end : end + 1] != END_MARK:
         return None
     payload = data[start:end]
     return payload if _checksum(payload, offset) == checksum else None
