--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -22,7 +22,7 @@
 FILE_HEADER_BYTES = 8
 MAX_PAYLOAD_BYTES = 1 << 30
 SECTOR_BYTES = 512
-LENGTH_BYTES = 4
+PAYLOAD_LENGTH_BYTES = 4
 """Size of the payload length in a frame; all its bytes but the last may be zero."""
 
 END_MARK = b"\x01"
@@ -144,7 +144,7 @@
     begin = start
     while begin < len(data):
         end = min(len(data), (begin // SECTOR_BYTES + 1) * SECTOR_BYTES)
-        is_in_length = begin == start and end - begin < LENGTH_BYTES
+        is_in_length = begin == start and end - begin < PAYLOAD_LENGTH_BYTES
         if not any(data[begin:end]) and not is_in_length:
             return True
         begin = end
