Rename _payload_at to _read_payload

The function reads and checks a payload.

Rename: libs/storage/src/kumquatmux_storage/frames.py _payload_at _read_payload

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -86,7 +86,7 @@
     payloads: list[bytes] = []
     offset = FILE_HEADER_BYTES
     while offset < len(data):
-        payload = _payload_at(data, offset)
+        payload = _read_payload(data, offset)
         if payload is None:
             is_torn = _is_incomplete_write(data, offset)
             return ScanResult(tuple(payloads), offset, is_torn, not is_torn)
@@ -95,7 +95,7 @@
     return ScanResult(tuple(payloads), offset)
 
 
-def _payload_at(data: bytes, offset: int) -> bytes | None:
+def _read_payload(data: bytes, offset: int) -> bytes | None:
     """Return the payload of the frame at an offset, or None if it is not valid."""
     start = offset + FRAME_HEADER_BYTES
     if start > len(data):
@@ -132,7 +132,7 @@
 def _has_later_frame(data: bytes, start: int) -> bool:
     """Return whether a valid frame starts at an offset or anywhere after it."""
     places = range(start, len(data) - FRAME_HEADER_BYTES)
-    return any(_payload_at(data, place) is not None for place in places)
+    return any(_read_payload(data, place) is not None for place in places)
 
 
 def _has_empty_sector(data: bytes, start: int) -> bool:
