Rename _has_later_frame to _has_valid_frame_from

The function looks for a valid frame from an offset on.

Rename: libs/storage/src/kumquatmux_storage/frames.py _has_later_frame _has_valid_frame_from

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -114,7 +114,7 @@
     An interrupted write ends early or misses whole sectors, which read as zeros. A
     complete frame with a wrong checksum was damaged after it had been written.
     """
-    if _has_later_frame(data, offset + 1):
+    if _has_valid_frame_from(data, offset + 1):
         return False
     start = offset + FRAME_HEADER_BYTES
     if start > len(data):
@@ -129,7 +129,7 @@
     return is_short and not is_whole
 
 
-def _has_later_frame(data: bytes, start: int) -> bool:
+def _has_valid_frame_from(data: bytes, start: int) -> bool:
     """Return whether a valid frame starts at an offset or anywhere after it."""
     places = range(start, len(data) - FRAME_HEADER_BYTES)
     return any(_read_payload(data, place) is not None for place in places)
