Rename _has_empty_sector to _has_zeroed_sector

The function looks for a sector of zeros.

Rename: libs/storage/src/kumquatmux_storage/frames.py _has_empty_sector _has_zeroed_sector

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -120,7 +120,7 @@
     if start > len(data):
         return True
     length, checksum = _frame_struct.unpack_from(data, offset)
-    if _has_empty_sector(data, offset):
+    if _has_zeroed_sector(data, offset):
         return True
     is_short = length + len(END_MARK) > len(data) - start
     rest = data[start:].removesuffix(END_MARK)
@@ -135,7 +135,7 @@
     return any(_read_payload(data, place) is not None for place in places)
 
 
-def _has_empty_sector(data: bytes, start: int) -> bool:
+def _has_zeroed_sector(data: bytes, start: int) -> bool:
     """Return whether a frame misses a sector, which then holds only zeros.
 
     A run of zeros shorter than the payload length at the frame's start is ignored,
