Rename FULL_ERRORS to DISK_FULL_ERRNOS

The values are errno numbers.

Rename: libs/storage/src/kumquatmux_storage/disk.py FULL_ERRORS DISK_FULL_ERRNOS

--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -13,7 +13,7 @@
 from kumquatmux_core.problems import Problem
 
 LOCK_NAME = "lock"
-FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
 
 class Disk(Protocol):
@@ -149,7 +149,7 @@
 
 def problem_from_os_error(error: OSError, subject: str) -> Problem:
     """Convert an operating system error to a ``Problem``."""
-    if error.errno in FULL_ERRORS:
+    if error.errno in DISK_FULL_ERRNOS:
         detail = "the disk is full; free space and restart this process"
         return Problem("disk-full", detail, subject)
     detail = f"the disk failed: {error.strerror or error}"
