Rename LOCK_NAME to LOCK_FILE_NAME

The constant is a file name.

Rename: libs/storage/src/kumquatmux_storage/disk.py LOCK_NAME LOCK_FILE_NAME

--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -12,7 +12,7 @@
 
 from kumquatmux_core.problems import Problem
 
-LOCK_NAME = "lock"
+LOCK_FILE_NAME = "lock"
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
 
@@ -63,7 +63,7 @@
     def names(self) -> list[str]:
         """Return the names of all files except the lock file."""
         found = (path.name for path in self.folder.iterdir() if path.is_file())
-        return sorted(name for name in found if name != LOCK_NAME)
+        return sorted(name for name in found if name != LOCK_FILE_NAME)
 
     def read(self, name: str) -> bytes:
         """Return the content of a file."""
@@ -135,7 +135,7 @@
     try:
         folder.mkdir(mode=0o700, parents=True, exist_ok=True)
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
-        lock = os.open(folder / LOCK_NAME, flags, 0o600)
+        lock = os.open(folder / LOCK_FILE_NAME, flags, 0o600)
     except OSError as error:
         return Error(problem_from_os_error(error, str(folder)))
     try:
