Rename _lock to _lock_descriptor

The attribute is a file descriptor.

Rename: libs/storage/src/kumquatmux_storage/disk.py _lock _lock_descriptor

--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -57,7 +57,7 @@
 
     def __init__(self, folder: Path, lock: int) -> None:
         self.folder = folder
-        self._lock = lock
+        self._lock_descriptor = lock
         self._open: dict[str, int] = {}
 
     def names(self) -> list[str]:
@@ -108,7 +108,7 @@
         """Close all files and release the folder lock."""
         for name in list(self._open):
             self._close(name)
-        os.close(self._lock)
+        os.close(self._lock_descriptor)
 
     def _file(self, name: str) -> int:
         """Return the descriptor of a file, which is opened or created if needed."""
