--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -58,7 +58,7 @@
     def __init__(self, folder: Path, lock: int) -> None:
         self.folder = folder
         self._lock_descriptor = lock
-        self._open: dict[str, int] = {}
+        self._descriptors: dict[str, int] = {}
 
     def names(self) -> list[str]:
         """Return the names of all files except the lock file."""
@@ -106,21 +106,21 @@
 
     def close(self) -> None:
         """Close all files and release the folder lock."""
-        for name in list(self._open):
+        for name in list(self._descriptors):
             self._close(name)
         os.close(self._lock_descriptor)
 
     def _file(self, name: str) -> int:
         """Return the descriptor of a file, which is opened or created if needed."""
-        file = self._open.get(name)
+        file = self._descriptors.get(name)
         if file is None:
             flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
             file = os.open(self.folder / name, flags, 0o600)
-            self._open[name] = file
+            self._descriptors[name] = file
         return file
 
     def _close(self, name: str) -> None:
-        file = self._open.pop(name, None)
+        file = self._descriptors.pop(name, None)
         if file is not None:
             os.close(file)
 
