--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -71,24 +71,24 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it does not exist."""
-        file = self._file(name)
+        file = self._descriptor(name)
         os.lseek(file, 0, os.SEEK_END)
         _write_all(file, data)
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace the content of a file, which is created if it does not exist."""
-        file = self._file(name)
+        file = self._descriptor(name)
         os.lseek(file, 0, os.SEEK_SET)
         _write_all(file, data)
         os.ftruncate(file, len(data))
 
     def truncate(self, name: str, length: int) -> None:
         """Truncate a file to a length in bytes."""
-        os.ftruncate(self._file(name), length)
+        os.ftruncate(self._descriptor(name), length)
 
     def sync(self, name: str) -> None:
         """Flush the content of a file to durable storage."""
-        os.fsync(self._file(name))
+        os.fsync(self._descriptor(name))
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file, replacing any file that has the new name."""
@@ -110,7 +110,7 @@
             self._close(name)
         os.close(self._lock_descriptor)
 
-    def _file(self, name: str) -> int:
+    def _descriptor(self, name: str) -> int:
         """Return the descriptor of a file, which is opened or created if needed."""
         file = self._descriptors.get(name)
         if file is None:
