--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -92,8 +92,8 @@
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file, replacing any file that has the new name."""
-        self._close(new)
-        self._close(old)
+        self._close_file(new)
+        self._close_file(old)
         os.replace(self.folder / old, self.folder / new)
 
     def sync_names(self) -> None:
@@ -107,7 +107,7 @@
     def close(self) -> None:
         """Close all files and release the folder lock."""
         for name in list(self._descriptors):
-            self._close(name)
+            self._close_file(name)
         os.close(self._lock_descriptor)
 
     def _descriptor(self, name: str) -> int:
@@ -119,7 +119,7 @@
             self._descriptors[name] = file
         return file
 
-    def _close(self, name: str) -> None:
+    def _close_file(self, name: str) -> None:
         file = self._descriptors.pop(name, None)
         if file is not None:
             os.close(file)
