--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -59,14 +59,14 @@
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it does not exist."""
         file = self.files.setdefault(name, MemoryFile())
-        file.data += self._writable(data)
+        file.data += self._stored_part(data)
         self._check_room()
         self._step()
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace the content of a file, which is created if it does not exist."""
         file = self.files.setdefault(name, MemoryFile())
-        file.data = self._writable(data)
+        file.data = self._stored_part(data)
         self._check_room()
         self._step()
 
@@ -116,7 +116,7 @@
         """Delete all files and reset all faults and counters."""
         self.__init__()  # type: ignore[misc]
 
-    def _writable(self, data: bytes) -> bytes:
+    def _stored_part(self, data: bytes) -> bytes:
         """Return the part of the data that fits: the first half on a full disk."""
         return data[: len(data) // 2] if self.is_full else data
 
