Rename _check_room to _raise_if_full

The method raises an error on a full disk.

Rename: libs/storage/src/kumquatmux_storage/memory.py _check_room _raise_if_full

--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -60,14 +60,14 @@
         """Append to a file, which is created if it does not exist."""
         file = self.files.setdefault(name, MemoryFile())
         file.data += self._stored_part(data)
-        self._check_room()
+        self._raise_if_full()
         self._step()
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace the content of a file, which is created if it does not exist."""
         file = self.files.setdefault(name, MemoryFile())
         file.data = self._stored_part(data)
-        self._check_room()
+        self._raise_if_full()
         self._step()
 
     def truncate(self, name: str, length: int) -> None:
@@ -120,7 +120,7 @@
         """Return the part of the data that fits: the first half on a full disk."""
         return data[: len(data) // 2] if self.is_full else data
 
-    def _check_room(self) -> None:
+    def _raise_if_full(self) -> None:
         if self.is_full:
             raise OSError(errno.ENOSPC, "no space left on device")
 
