--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -61,41 +61,41 @@
         file = self.files.setdefault(name, MemoryFile())
         file.data += self._stored_part(data)
         self._raise_if_full()
-        self._step()
+        self._count_operation()
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace the content of a file, which is created if it does not exist."""
         file = self.files.setdefault(name, MemoryFile())
         file.data = self._stored_part(data)
         self._raise_if_full()
-        self._step()
+        self._count_operation()
 
     def truncate(self, name: str, length: int) -> None:
         """Truncate a file to a length in bytes."""
         self.files[name].data = self.files[name].data[:length]
-        self._step()
+        self._count_operation()
 
     def sync(self, name: str) -> None:
         """Flush the content of a file to durable storage."""
-        self._step()
+        self._count_operation()
         if self.fails_sync:
             raise OSError(errno.EIO, "input/output error", name)
         file = self.files[name]
         file.synced_data = file.data
-        self._step()
+        self._count_operation()
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file, replacing any file that has the new name."""
         self.files[new] = self.files.pop(old)
-        self._step()
+        self._count_operation()
 
     def sync_names(self) -> None:
         """Flush created and renamed file names to durable storage."""
-        self._step()
+        self._count_operation()
         if self.fails_sync:
             raise OSError(errno.EIO, "input/output error", "folder")
         self.synced_files = dict(self.files)
-        self._step()
+        self._count_operation()
 
     def crash(self, random: Random) -> None:
         """Simulate a crash that loses a random part of the unsynced changes.
@@ -124,7 +124,7 @@
         if self.is_full:
             raise OSError(errno.ENOSPC, "no space left on device")
 
-    def _step(self) -> None:
+    def _count_operation(self) -> None:
         """Count an operation step and raise ``Crashed`` if it is the chosen one."""
         self.operations += 1
         if self.operations == self.crash_at:
