--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -105,7 +105,7 @@
         if random.random() < 0.5:
             self.files = dict(self.synced_files)
         for file in self.files.values():
-            file.data = _torn(file, random)
+            file.data = _content_after_crash(file, random)
             file.synced_data = file.data
         self.synced_files = dict(self.files)
         self.crash_at = -1
@@ -131,7 +131,7 @@
             raise Crashed(f"simulated crash at operation {self.operations}")
 
 
-def _torn(file: MemoryFile, random: Random) -> bytes:
+def _content_after_crash(file: MemoryFile, random: Random) -> bytes:
     """Return the content left by a crash: a random part of the unsynced data.
 
     The unsynced data may be truncated, and sectors of it may be zeroed.
