Rename _append to _append_entries

The method appends log entries.

Rename: libs/storage/src/kumquatmux_storage/store.py _append _append_entries

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -67,9 +67,9 @@
         if persist.snapshot is not None:
             self._write_snapshot(persist.snapshot, keep=persist.keep_entries)
         if persist.entries:
-            self._append(persist.entries)
+            self._append_entries(persist.entries)
 
-    def _append(self, entries: tuple[Entry, ...]) -> None:
+    def _append_entries(self, entries: tuple[Entry, ...]) -> None:
         data = frames.encode_frame(files.encode_record(entries), self.length)
         self.disk.append(files.LOG, data)
         self.disk.sync(files.LOG)
