Rename _without_identity to _check_without_identity

The function checks a folder that has no identity file.

Rename: libs/storage/src/kumquatmux_storage/store.py _without_identity _check_without_identity

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -205,7 +205,7 @@
     names = set(disk.names())
     durable = {files.VOTE, files.SNAPSHOT, files.LOG}
     if files.IDENTITY not in names:
-        return _without_identity(disk, names & durable)
+        return _check_without_identity(disk, names & durable)
     missing = sorted(durable - names)
     if missing:
         detail = f"missing although the folder has an identity; {files.RECOVERY_ADVICE}"
@@ -228,7 +228,9 @@
     return Ok(store)
 
 
-def _without_identity(disk: Disk, found: set[str]) -> Result[Store | None, Problem]:
+def _check_without_identity(
+    disk: Disk, found: set[str]
+) -> Result[Store | None, Problem]:
     """Return None for an empty or partly created folder.
 
     Errors:
