--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -268,11 +268,13 @@
     if snapshot.ok.log_index < log.ok.base.previous_log_index:
         detail = f"older than the log's first entry; {files.RECOVERY_ADVICE}"
         return Error(Problem("snapshot-old", detail, files.SNAPSHOT))
-    entries = _entries_after(snapshot.ok, log.ok)
+    entries = _entries_after_snapshot(snapshot.ok, log.ok)
     return Ok(FolderContent(DurableState(vote.ok, snapshot.ok, entries), log.ok))
 
 
-def _entries_after(snapshot: Snapshot, log: files.LogFile) -> tuple[Entry, ...]:
+def _entries_after_snapshot(
+    snapshot: Snapshot, log: files.LogFile
+) -> tuple[Entry, ...]:
     """Return the log entries after a snapshot, which may be newer than the log's base.
 
     If the log does not contain the snapshot's last entry, no entries are returned.
