Rename _open to _open_existing

The function opens an existing folder and does not create one.

Rename: libs/storage/src/kumquatmux_storage/store.py _open _open_existing

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -155,7 +155,7 @@
         ``OSError`` becomes ``disk-full`` or ``disk-failed``.
     """
     try:
-        return _open(disk)
+        return _open_existing(disk)
     except OSError as error:
         return Error(problem_from_os_error(error, error.filename or "data folder"))
 
@@ -201,7 +201,7 @@
     return data
 
 
-def _open(disk: Disk) -> Result[Store | None, Problem]:
+def _open_existing(disk: Disk) -> Result[Store | None, Problem]:
     names = set(disk.names())
     durable = {files.VOTE, files.SNAPSHOT, files.LOG}
     if files.IDENTITY not in names:
