Rename first to initial_state

The parameter is the initial state.

Rename: libs/storage/src/kumquatmux_storage/store.py first initial_state

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -116,7 +116,7 @@
 
 
 def open_or_create(
-    disk: Disk, identity: Identity, first: DurableState
+    disk: Disk, identity: Identity, initial_state: DurableState
 ) -> Result[Store, Problem]:
     """Open a data folder, or create it if it is empty.
 
@@ -136,7 +136,7 @@
         return Error(opened.error)
     store = opened.ok
     if store is None:
-        return create_store(disk, identity, first)
+        return create_store(disk, identity, initial_state)
     found = store.identity
     if (found.cluster, found.vm) != (identity.cluster, identity.vm):
         detail = f"the folder belongs to VM {found.vm} of cluster {found.cluster}"
