Rename place to position

The local is a position in a list.

Rename: libs/storage/src/kumquatmux_storage/store.py place position

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -74,8 +74,8 @@
         self.disk.append(files.LOG, data)
         self.disk.sync(files.LOG)
         self.length += len(data)
-        place = entries[0].log_index - self.log_header.previous_log_index - 1
-        self.entries[place:] = entries
+        position = entries[0].log_index - self.log_header.previous_log_index - 1
+        self.entries[position:] = entries
         self._record_synced_length()
 
     def _write_snapshot(self, snapshot: Snapshot, *, keep: bool) -> None:
