--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -81,7 +81,7 @@
     def _write_snapshot(self, snapshot: Snapshot, *, keep: bool) -> None:
         replace_record_file(self.disk, files.SNAPSHOT, snapshot)
         later_entries = [
-            one for one in self.entries if one.log_index > snapshot.log_index
+            entry for entry in self.entries if one.log_index > snapshot.log_index
         ]
         self.entries = later_entries if keep else []
         self.rewrite_log(snapshot)
