Rename place to position

The local is a position in a list.

Rename: libs/storage/src/kumquatmux_storage/store.py place position

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -283,9 +283,11 @@
     """
     if snapshot.log_index == log.base.previous_log_index:
         return log.entries
-    place = snapshot.log_index - log.base.previous_log_index
-    is_held = place <= len(log.entries) and log.entries[place - 1].term == snapshot.term
-    return log.entries[place:] if is_held else ()
+    position = snapshot.log_index - log.base.previous_log_index
+    is_held = (
+        position <= len(log.entries) and log.entries[position - 1].term == snapshot.term
+    )
+    return log.entries[position:] if is_held else ()
 
 
 def _replace_atomically(disk: Disk, name: str, data: bytes) -> None:
