--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -284,10 +284,10 @@
     if snapshot.log_index == log.base.previous_log_index:
         return log.entries
     position = snapshot.log_index - log.base.previous_log_index
-    is_held = (
+    has_snapshot_entry = (
         position <= len(log.entries) and log.entries[position - 1].term == snapshot.term
     )
-    return log.entries[position:] if is_held else ()
+    return log.entries[position:] if has_snapshot_entry else ()
 
 
 def _replace_atomically(disk: Disk, name: str, data: bytes) -> None:
