Rename durable to required_files

The local is the set of required file names.

Rename: libs/storage/src/kumquatmux_storage/store.py durable required_files

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -205,10 +205,10 @@
 
 def _open_existing(disk: Disk) -> Result[Store | None, Problem]:
     names = set(disk.names())
-    durable = {files.VOTE, files.SNAPSHOT, files.LOG}
+    required_files = {files.VOTE, files.SNAPSHOT, files.LOG}
     if files.IDENTITY not in names:
-        return _check_without_identity(disk, names & durable)
-    missing = sorted(durable - names)
+        return _check_without_identity(disk, names & required_files)
+    missing = sorted(required_files - names)
     if missing:
         detail = f"missing although the folder has an identity; {files.RECOVERY_ADVICE}"
         return Error(Problem("file-missing", detail, missing[0]))
