Rename names to existing_files

The local is the set of existing file names.

Rename: libs/storage/src/kumquatmux_storage/store.py names existing_files

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -204,11 +204,11 @@
 
 
 def _open_existing(disk: Disk) -> Result[Store | None, Problem]:
-    names = set(disk.names())
+    existing_files = set(disk.names())
     required_files = {files.VOTE, files.SNAPSHOT, files.LOG}
-    if files.IDENTITY not in names:
-        return _check_without_identity(disk, names & required_files)
-    missing = sorted(required_files - names)
+    if files.IDENTITY not in existing_files:
+        return _check_without_identity(disk, existing_files & required_files)
+    missing = sorted(required_files - existing_files)
     if missing:
         detail = f"missing although the folder has an identity; {files.RECOVERY_ADVICE}"
         return Error(Problem("file-missing", detail, missing[0]))
