--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -185,7 +185,7 @@
         vm=identity.vm,
         folder=identity.folder,
     )
-    log = files.LogFile(base, first.entries, len(data), is_torn=False)
+    log = files.LogFile(base, first.entries, len(data), has_incomplete_write=False)
     return Ok(Store(disk, identity, first, log))
 
 
