--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -47,8 +47,8 @@
 
     Attributes:
         generation: Incremented each time the log file is rewritten.
-        log_index: Index of the entry that precedes the first one in the file.
-        term: Term of the entry at ``log_index``.
+        previous_log_index: Index of the entry that precedes the first one in the file.
+        previous_term: Term of the entry at ``previous_log_index``.
     """
 
     generation: int
@@ -72,10 +72,10 @@
     """Decoded content of a log file.
 
     Attributes:
-        base: First frame of the file.
+        base: Header frame of the log file.
         entries: Log entries, without those that later entries overwrote.
         length: Length of the valid frames, including the file header, in bytes.
-        is_torn: Whether an incomplete write follows the valid frames.
+        has_incomplete_write: Whether an incomplete write follows the valid frames.
     """
 
     base: LogHeader
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -1,8 +1,9 @@
 """File format of checksummed frames, with detection of torn writes and damage.
 
-A file starts with a header of ``HEADER_BYTES`` bytes that holds a magic number, the
-format version and the file kind. Each frame consists of the payload length (4 bytes),
-a checksum (8 bytes), the payload and an end mark (1 byte); integers are big endian.
+A file starts with a header of ``FILE_HEADER_BYTES`` bytes that holds a magic number,
+the format version and the file kind. Each frame consists of the payload length
+(4 bytes), a checksum (8 bytes), the payload and an end mark (1 byte); integers are big
+endian.
 The checksum covers the payload and is seeded with the frame's offset in the file.
 The end mark is not zero, so a frame never ends in zeros like an unwritten sector.
 """
@@ -38,8 +39,8 @@
 
     Attributes:
         payloads: Payloads of the valid frames.
-        length: Offset in bytes at which the last valid frame ends.
-        is_torn: Whether an incomplete write follows the valid frames.
+        end_offset: Offset in bytes at which the last valid frame ends.
+        has_incomplete_write: Whether an incomplete write follows the valid frames.
         is_damaged: Whether data other than an incomplete write follows them.
     """
 
@@ -68,9 +69,7 @@
     """
     if len(data) < FILE_HEADER_BYTES:
         return Error(
-            Problem(
-                "file-short", f"{len(data)} bytes, too short for a file header", name
-            )
+            Problem("file-short", f"{len(data)} bytes, incomplete file header", name)
         )
     magic, version, found, _ = _file_header_struct.unpack_from(data)
     if magic != MAGIC or found != kind:
--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -17,7 +17,7 @@
 
     Attributes:
         data: Current content, as the process reads it.
-        synced: Content at the last sync.
+        synced_data: Content at the last sync.
     """
 
     def __init__(self) -> None:
@@ -30,7 +30,7 @@
 
     Attributes:
         files: Files by current name, as the process sees them.
-        synced_names: Files by name at the last sync of the names.
+        synced_files: Files by name at the last sync of the names.
         operations: Number of operation steps so far; a write, truncation or rename
             counts as one step, a sync as two: before and after it takes effect.
         crash_at: Operation step at which ``Crashed`` is raised, or -1 for none.
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -23,7 +23,7 @@
         identity: Cluster, VM and folder ID of the replica.
         restored: Durable state read when the folder was opened.
         entries: Entries currently in the log file.
-        base: First frame of the log file.
+        log_header: Header frame of the log file.
         length: Length of the log file in bytes.
         failure: Error of the first failed write, after which nothing is written, or
             None.
@@ -81,7 +81,7 @@
     def _write_snapshot(self, snapshot: Snapshot, *, keep: bool) -> None:
         replace_record_file(self.disk, files.SNAPSHOT, snapshot)
         later_entries = [
-            entry for entry in self.entries if one.log_index > snapshot.log_index
+            entry for entry in self.entries if entry.log_index > snapshot.log_index
         ]
         self.entries = later_entries if keep else []
         self.rewrite_log(snapshot)
@@ -110,7 +110,7 @@
 
     Attributes:
         state: Vote, snapshot and the entries after the snapshot.
-        log: Content of the log file.
+        log_file: Content of the log file.
     """
 
     state: DurableState
@@ -126,7 +126,7 @@
         disk: Files of the folder.
         identity: Cluster and VM that the folder must belong to, and the folder ID
             that it gets if it is created.
-        first: Initial state of a new folder: ``founding_state`` on the one VM that
+        initial_state: Initial state of a new folder: ``founding_state`` on the one VM that
             bootstraps a cluster, ``joining_state`` on every other VM.
 
     Errors:
@@ -195,7 +195,7 @@
 
 
 def log_bytes(base: LogHeader, entries: tuple[Entry, ...]) -> bytes:
-    """Return the content of a log file with the given first frame and entries."""
+    """Return the content of a log file with a header frame and entries."""
     data = frames.encode_file_header(files.FILE_KINDS[files.LOG])
     data += frames.encode_frame(files.encode_record(base), len(data))
     if entries:
@@ -277,7 +277,7 @@
 def _entries_after_snapshot(
     snapshot: Snapshot, log: files.LogFile
 ) -> tuple[Entry, ...]:
-    """Return the log entries after a snapshot, which may be newer than the log's base.
+    """Return the log entries after a snapshot, which may be newer than the log header.
 
     If the log does not contain the snapshot's last entry, no entries are returned.
     """
