--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -163,18 +163,18 @@
 
 
 def create_store(
-    disk: Disk, identity: Identity, first: DurableState
+    disk: Disk, identity: Identity, initial_state: DurableState
 ) -> Result[Store, Problem]:
     """Create a data folder; the identity is written last and completes the creation.
 
     Errors:
         ``disk-full`` or ``disk-failed``.
     """
-    base = LogHeader(1, first.snapshot.log_index, first.snapshot.term)
-    data = log_bytes(base, first.entries)
+    base = LogHeader(1, initial_state.snapshot.log_index, initial_state.snapshot.term)
+    data = log_bytes(base, initial_state.entries)
     try:
-        replace_record_file(disk, files.VOTE, first.vote)
-        replace_record_file(disk, files.SNAPSHOT, first.snapshot)
+        replace_record_file(disk, files.VOTE, initial_state.vote)
+        replace_record_file(disk, files.SNAPSHOT, initial_state.snapshot)
         _replace_atomically(disk, files.LOG, data)
         replace_record_file(disk, files.IDENTITY, identity)
     except OSError as error:
@@ -185,8 +185,10 @@
         vm=identity.vm,
         folder=identity.folder,
     )
-    log = files.LogFile(base, first.entries, len(data), has_incomplete_write=False)
-    return Ok(Store(disk, identity, first, log))
+    log = files.LogFile(
+        base, initial_state.entries, len(data), has_incomplete_write=False
+    )
+    return Ok(Store(disk, identity, initial_state, log))
 
 
 def replace_record_file(disk: Disk, name: str, record: NamedTuple) -> None:
