Rename found to existing_files

The parameter is a set of existing file names.

Rename: libs/storage/src/kumquatmux_storage/store.py found existing_files

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -233,7 +233,7 @@
 
 
 def _check_without_identity(
-    disk: Disk, found: set[str]
+    disk: Disk, existing_files: set[str]
 ) -> Result[Store | None, Problem]:
     """Return None for an empty or partly created folder.
 
@@ -241,8 +241,8 @@
         ``identity-missing`` if the log or vote is in use or unreadable, which means
         that the identity was lost.
     """
-    is_new = files.LOG not in found or _is_unused_log(disk)
-    has_voted = files.VOTE in found and _has_voted(disk)
+    is_new = files.LOG not in existing_files or _is_unused_log(disk)
+    has_voted = files.VOTE in existing_files and _has_voted(disk)
     if is_new and not has_voted:
         return Ok(None)
     detail = f"missing although the folder has a log or vote; {files.RECOVERY_ADVICE}"
