Rename found to existing_identity

The local is the identity stored in the folder.

Rename: libs/storage/src/kumquatmux_storage/store.py found existing_identity

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -139,9 +139,12 @@
     store = opened.ok
     if store is None:
         return create_store(disk, identity, initial_state)
-    found = store.identity
-    if (found.cluster, found.vm) != (identity.cluster, identity.vm):
-        detail = f"the folder belongs to VM {found.vm} of cluster {found.cluster}"
+    existing_identity = store.identity
+    if (existing_identity.cluster, existing_identity.vm) != (
+        identity.cluster,
+        identity.vm,
+    ):
+        detail = f"the folder belongs to VM {existing_identity.vm} of cluster {existing_identity.cluster}"
         return Error(Problem("folder-of-another", detail, files.IDENTITY))
     return Ok(store)
 
