Rename base to log_header

The local is the header frame of the log file.

Rename: libs/storage/src/kumquatmux_storage/store.py base log_header

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -173,8 +173,10 @@
     Errors:
         ``disk-full`` or ``disk-failed``.
     """
-    base = LogHeader(1, initial_state.snapshot.log_index, initial_state.snapshot.term)
-    data = log_bytes(base, initial_state.entries)
+    log_header = LogHeader(
+        1, initial_state.snapshot.log_index, initial_state.snapshot.term
+    )
+    data = log_bytes(log_header, initial_state.entries)
     try:
         replace_record_file(disk, files.VOTE, initial_state.vote)
         replace_record_file(disk, files.SNAPSHOT, initial_state.snapshot)
@@ -189,7 +191,7 @@
         folder=identity.folder,
     )
     log = files.LogFile(
-        base, initial_state.entries, len(data), has_incomplete_write=False
+        log_header, initial_state.entries, len(data), has_incomplete_write=False
     )
     return Ok(Store(disk, identity, initial_state, log))
 
