Rename base to log_header

The parameter is the header frame of the log file.

Rename: libs/storage/src/kumquatmux_storage/store.py base log_header

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -201,10 +201,10 @@
     _replace_atomically(disk, name, files.whole_file(name, record))
 
 
-def log_bytes(base: LogHeader, entries: tuple[Entry, ...]) -> bytes:
+def log_bytes(log_header: LogHeader, entries: tuple[Entry, ...]) -> bytes:
     """Return the content of a log file with a header frame and entries."""
     data = frames.encode_file_header(files.FILE_KINDS[files.LOG])
-    data += frames.encode_frame(files.encode_record(base), len(data))
+    data += frames.encode_frame(files.encode_record(log_header), len(data))
     if entries:
         data += frames.encode_frame(files.encode_record(entries), len(data))
     return data
