Rename base to log_header

The local is the result of decoding the log header.

Rename: libs/storage/src/kumquatmux_storage/files.py base log_header

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -142,18 +142,20 @@
     if found.is_damaged or not found.payloads:
         detail = f"damaged at offset {found.end_offset}"
         return _with_recovery_advice(Problem("log-damaged", detail, LOG))
-    base = _decode_payload(found.payloads[0], LogHeader, LOG, frames.FILE_HEADER_BYTES)
-    if base.is_error():
-        return Error(base.error)
-    synced = _synced_length(disk, base.ok.generation)
+    log_header = _decode_payload(
+        found.payloads[0], LogHeader, LOG, frames.FILE_HEADER_BYTES
+    )
+    if log_header.is_error():
+        return Error(log_header.error)
+    synced = _synced_length(disk, log_header.ok.generation)
     if found.end_offset < synced:
         detail = f"damaged at offset {found.end_offset}, synced up to {synced}"
         return _with_recovery_advice(Problem("log-damaged", detail, LOG))
-    entries = _decode_entries(base.ok, found.payloads[1:])
+    entries = _decode_entries(log_header.ok, found.payloads[1:])
     if entries.is_error():
         return Error(entries.error)
     return Ok(
-        LogFile(base.ok, entries.ok, found.end_offset, found.has_incomplete_write)
+        LogFile(log_header.ok, entries.ok, found.end_offset, found.has_incomplete_write)
     )
 
 
