Rename base to log_header

The parameter is the header frame of the log file.

Rename: libs/storage/src/kumquatmux_storage/files.py base log_header

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -170,7 +170,7 @@
 
 
 def _decode_entries(
-    base: LogHeader, payloads: tuple[bytes, ...]
+    log_header: LogHeader, payloads: tuple[bytes, ...]
 ) -> Result[tuple[Entry, ...], Problem]:
     """Decode batches of entries and apply them in order; later entries overwrite."""
     entries: list[Entry] = []
@@ -179,7 +179,7 @@
         if batch.is_error():
             return Error(batch.error)
         for entry in batch.ok:
-            place = entry.log_index - base.previous_log_index - 1
+            place = entry.log_index - log_header.previous_log_index - 1
             if not 0 <= place <= len(entries):
                 detail = f"entry {entry.log_index} does not follow the preceding entry"
                 return _with_recovery_advice(Problem("log-gap", detail, LOG))
