--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -147,9 +147,9 @@
     )
     if log_header.is_error():
         return Error(log_header.error)
-    synced = _synced_length(disk, log_header.ok.generation)
-    if found.end_offset < synced:
-        detail = f"damaged at offset {found.end_offset}, synced up to {synced}"
+    synced_length = _synced_length(disk, log_header.ok.generation)
+    if found.end_offset < synced_length:
+        detail = f"damaged at offset {found.end_offset}, synced up to {synced_length}"
         return _with_recovery_advice(Problem("log-damaged", detail, LOG))
     entries = _decode_entries(log_header.ok, found.payloads[1:])
     if entries.is_error():
