Rename place to position

The local is a position in a list.

Rename: libs/storage/src/kumquatmux_storage/files.py place position

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -179,11 +179,11 @@
         if batch.is_error():
             return Error(batch.error)
         for entry in batch.ok:
-            place = entry.log_index - log_header.previous_log_index - 1
-            if not 0 <= place <= len(entries):
+            position = entry.log_index - log_header.previous_log_index - 1
+            if not 0 <= position <= len(entries):
                 detail = f"entry {entry.log_index} does not follow the preceding entry"
                 return _with_recovery_advice(Problem("log-gap", detail, LOG))
-            del entries[place:]
+            del entries[position:]
             entries.append(entry)
     return Ok(tuple(entries))
 
