Rename is_torn to is_incomplete_write

The local says that the write is incomplete.

Rename: libs/storage/src/kumquatmux_storage/frames.py is_torn is_incomplete_write

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -87,8 +87,10 @@
     while offset < len(data):
         payload = _read_payload(data, offset)
         if payload is None:
-            is_torn = _is_incomplete_write(data, offset)
-            return ScanResult(tuple(payloads), offset, is_torn, not is_torn)
+            is_incomplete_write = _is_incomplete_write(data, offset)
+            return ScanResult(
+                tuple(payloads), offset, is_incomplete_write, not is_incomplete_write
+            )
         payloads.append(payload)
         offset += FRAME_HEADER_BYTES + len(payload) + len(END_MARK)
     return ScanResult(tuple(payloads), offset)
