Rename head to frame_header

The local is the encoded frame header.

Rename: libs/storage/src/kumquatmux_storage/frames.py head frame_header

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -57,8 +57,8 @@
 
 def encode_frame(payload: bytes, offset: int) -> bytes:
     """Return a payload encoded as the frame at an offset in bytes of its file."""
-    head = _frame_struct.pack(len(payload), _checksum(payload, offset))
-    return head + payload + END_MARK
+    frame_header = _frame_struct.pack(len(payload), _checksum(payload, offset))
+    return frame_header + payload + END_MARK
 
 
 def check_file_header(data: bytes, kind: int, name: str) -> Result[None, Problem]:
