Rename found to found_kind

The local is the file kind found in the header.

Rename: libs/storage/src/kumquatmux_storage/frames.py found found_kind

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -71,8 +71,8 @@
         return Error(
             Problem("file-short", f"{len(data)} bytes, incomplete file header", name)
         )
-    magic, version, found, _ = _file_header_struct.unpack_from(data)
-    if magic != MAGIC or found != kind:
+    magic, version, found_kind, _ = _file_header_struct.unpack_from(data)
+    if magic != MAGIC or found_kind != kind:
         return Error(Problem("file-kind", "damaged at offset 0: wrong file kind", name))
     if version != FORMAT_VERSION:
         detail = f"format version {version}, only {FORMAT_VERSION} is supported"
