Rename is_short to is_truncated

The local says that the file ends before the frame does.

Rename: libs/storage/src/kumquatmux_storage/frames.py is_short is_truncated

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -123,11 +123,11 @@
     length, checksum = _frame_struct.unpack_from(data, offset)
     if _has_zeroed_sector(data, offset):
         return True
-    is_short = length + len(END_MARK) > len(data) - start
+    is_truncated = length + len(END_MARK) > len(data) - start
     rest = data[start:].removesuffix(END_MARK)
     has_end = len(rest) < len(data) - start
     is_whole = has_end and _checksum(rest, offset) == checksum
-    return is_short and not is_whole
+    return is_truncated and not is_whole
 
 
 def _has_valid_frame_from(data: bytes, start: int) -> bool:
