Rename rest to remaining_payload

The local is the payload up to the end of the file.

Rename: libs/storage/src/kumquatmux_storage/frames.py rest remaining_payload

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -124,9 +124,9 @@
     if _has_zeroed_sector(data, offset):
         return True
     is_truncated = length + len(END_MARK) > len(data) - start
-    rest = data[start:].removesuffix(END_MARK)
-    has_end = len(rest) < len(data) - start
-    is_whole = has_end and _checksum(rest, offset) == checksum
+    remaining_payload = data[start:].removesuffix(END_MARK)
+    has_end = len(remaining_payload) < len(data) - start
+    is_whole = has_end and _checksum(remaining_payload, offset) == checksum
     return is_truncated and not is_whole
 
 
