Rename is_whole to is_complete

The local says that the payload is complete.

Rename: libs/storage/src/kumquatmux_storage/frames.py is_whole is_complete

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -126,8 +126,8 @@
     is_truncated = length + len(END_MARK) > len(data) - start
     remaining_payload = data[start:].removesuffix(END_MARK)
     has_end_mark = len(remaining_payload) < len(data) - start
-    is_whole = has_end_mark and _checksum(remaining_payload, offset) == checksum
-    return is_truncated and not is_whole
+    is_complete = has_end_mark and _checksum(remaining_payload, offset) == checksum
+    return is_truncated and not is_complete
 
 
 def _has_valid_frame_from(data: bytes, start: int) -> bool:
