Rename places to offsets

The local is a range of offsets.

Rename: libs/storage/src/kumquatmux_storage/frames.py places offsets

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -132,8 +132,8 @@
 
 def _has_valid_frame_from(data: bytes, start: int) -> bool:
     """Return whether a valid frame starts at an offset or anywhere after it."""
-    places = range(start, len(data) - FRAME_HEADER_BYTES)
-    return any(_read_payload(data, place) is not None for place in places)
+    offsets = range(start, len(data) - FRAME_HEADER_BYTES)
+    return any(_read_payload(data, place) is not None for place in offsets)
 
 
 def _has_zeroed_sector(data: bytes, start: int) -> bool:
