Rename begin to sector_start

The local is the start of a sector.

Rename: libs/storage/src/kumquatmux_storage/frames.py begin sector_start

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -142,13 +142,15 @@
     A run of zeros shorter than the payload length at the frame's start is ignored,
     because the length itself may begin with zeros.
     """
-    begin = start
-    while begin < len(data):
-        end = min(len(data), (begin // SECTOR_BYTES + 1) * SECTOR_BYTES)
-        is_in_length = begin == start and end - begin < PAYLOAD_LENGTH_BYTES
-        if not any(data[begin:end]) and not is_in_length:
+    sector_start = start
+    while sector_start < len(data):
+        end = min(len(data), (sector_start // SECTOR_BYTES + 1) * SECTOR_BYTES)
+        is_in_length = (
+            sector_start == start and end - sector_start < PAYLOAD_LENGTH_BYTES
+        )
+        if not any(data[sector_start:end]) and not is_in_length:
             return True
-        begin = end
+        sector_start = end
     return False
 
 
