Rename end to sector_end

The local is the end of a sector.

Rename: libs/storage/src/kumquatmux_storage/frames.py end sector_end

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -144,13 +144,13 @@
     """
     sector_start = start
     while sector_start < len(data):
-        end = min(len(data), (sector_start // SECTOR_BYTES + 1) * SECTOR_BYTES)
+        sector_end = min(len(data), (sector_start // SECTOR_BYTES + 1) * SECTOR_BYTES)
         is_in_length = (
-            sector_start == start and end - sector_start < PAYLOAD_LENGTH_BYTES
+            sector_start == start and sector_end - sector_start < PAYLOAD_LENGTH_BYTES
         )
-        if not any(data[sector_start:end]) and not is_in_length:
+        if not any(data[sector_start:sector_end]) and not is_in_length:
             return True
-        sector_start = end
+        sector_start = sector_end
     return False
 
 
