Rename is_in_length to is_within_length_field

The local says that the bytes are part of the length field.

Rename: libs/storage/src/kumquatmux_storage/frames.py is_in_length is_within_length_field

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -145,10 +145,10 @@
     sector_start = start
     while sector_start < len(data):
         sector_end = min(len(data), (sector_start // SECTOR_BYTES + 1) * SECTOR_BYTES)
-        is_in_length = (
+        is_within_length_field = (
             sector_start == start and sector_end - sector_start < PAYLOAD_LENGTH_BYTES
         )
-        if not any(data[sector_start:sector_end]) and not is_in_length:
+        if not any(data[sector_start:sector_end]) and not is_within_length_field:
             return True
         sector_start = sector_end
     return False
