Rename first to first_sector

The local is the offset of the first sector.

Rename: libs/storage/src/kumquatmux_storage/memory.py first first_sector

--- a/libs/storage/src/kumquatmux_storage/memory.py
+++ b/libs/storage/src/kumquatmux_storage/memory.py
@@ -142,8 +142,8 @@
     data = file.data[:length]
     if random.random() < 0.5:
         return data
-    first = -(-len(file.synced_data) // SECTOR_BYTES) * SECTOR_BYTES
-    for start in range(first, length, SECTOR_BYTES):
+    first_sector = -(-len(file.synced_data) // SECTOR_BYTES) * SECTOR_BYTES
+    for start in range(first_sector, length, SECTOR_BYTES):
         if random.random() < 0.5:
             end = min(start + SECTOR_BYTES, length)
             data = data[:start] + bytes(end - start) + data[end:]
