Rename handle to descriptor

The local is a file descriptor.

Rename: libs/storage/src/kumquatmux_storage/disk.py handle descriptor

--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -98,11 +98,11 @@
 
     def sync_names(self) -> None:
         """Flush created and renamed file names to durable storage."""
-        handle = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
         try:
-            os.fsync(handle)
+            os.fsync(descriptor)
         finally:
-            os.close(handle)
+            os.close(descriptor)
 
     def close(self) -> None:
         """Close all files and release the folder lock."""
