--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -126,7 +126,7 @@
         disk: Files of the folder.
         identity: Cluster and VM that the folder must belong to, and the folder ID
             that it gets if it is created.
-        initial_state: Initial state of a new folder: ``founding_state`` on the one VM that
+        initial_state: State of a new folder: ``founding_state`` on the one VM that
             bootstraps a cluster, ``joining_state`` on every other VM.
 
     Errors:
@@ -139,12 +139,12 @@
     store = opened.ok
     if store is None:
         return create_store(disk, identity, initial_state)
-    existing_identity = store.identity
-    if (existing_identity.cluster, existing_identity.vm) != (
+    stored = store.identity
+    if (stored.cluster, stored.vm) != (
         identity.cluster,
         identity.vm,
     ):
-        detail = f"the folder belongs to VM {existing_identity.vm} of cluster {existing_identity.cluster}"
+        detail = f"the folder belongs to VM {stored.vm} of cluster {stored.cluster}"
         return Error(Problem("folder-of-another", detail, files.IDENTITY))
     return Ok(store)
 
