--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -46,14 +46,14 @@
 )
 
 
-def started():
+def new_store():
     disk = MemoryDisk()
     return disk, open_or_create(disk, IDENTITY, founding_state(ME, ("a",))).ok
 
 
 def after(steps):
     """Return the state read back after the given writes."""
-    disk, store = started()
+    disk, store = new_store()
     for step in steps:
         assert store.write(step).is_ok()
     return open_store(disk).ok.restored
@@ -74,7 +74,7 @@
 
 
 def total_operations():
-    disk, store = started()
+    disk, store = new_store()
     begin = disk.operations
     for step in STEPS:
         store.write(step)
@@ -87,7 +87,7 @@
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("point", range(FIRST + 1, LAST + 1))
 def test_a_crash_at_any_write_or_sync_loses_nothing_that_was_synced(point, seed):
-    disk, store = started()
+    disk, store = new_store()
     disk.crash_at = point
     done = 0
     with pytest.raises(Crashed):
@@ -117,7 +117,7 @@
 
 
 def test_every_single_damaged_byte_of_synced_files_is_refused_or_harmless():
-    disk, store = started()
+    disk, store = new_store()
     for step in STEPS[:6]:
         store.write(step)
     whole = store.disk.files
@@ -135,7 +135,7 @@
 
 
 def test_damage_of_the_last_record_is_told_from_a_torn_end():
-    disk, store = started()
+    disk, store = new_store()
     store.write(STEPS[1])
     del disk.files[files.SYNCED]
     length = len(disk.files[files.LOG].data)
@@ -146,7 +146,7 @@
 
 
 def test_a_torn_end_is_cut_and_written_over():
-    disk, store = started()
+    disk, store = new_store()
     store.write(STEPS[1])
     disk.files[files.LOG].data += frames.encode_frame(b"unfinished", store.length)[:-3]
     again = open_store(disk).ok
@@ -157,7 +157,7 @@
 
 @pytest.mark.parametrize("lost", range(1, 5))
 def test_an_end_that_lacks_the_few_bytes_in_a_last_sector_is_torn(lost):
-    disk, store = started()
+    disk, store = new_store()
     payload = bytes(frames.SECTOR_BYTES + lost)
     room = len(payload) - len(frames.encode_frame(payload, store.length))
     size = (room - store.length + lost - 1) % frames.SECTOR_BYTES + 1
@@ -167,11 +167,11 @@
     disk.files[files.LOG].data = whole[:-lost] + bytes(lost)
     again = open_store(disk)
     assert again.is_ok(), again
-    assert again.ok.restored == started()[1].restored
+    assert again.ok.restored == new_store()[1].restored
 
 
 def test_a_synced_part_that_is_gone_is_refused_with_its_offset():
-    disk, store = started()
+    disk, store = new_store()
     store.write(STEPS[1])
     length = store.length
     store.write(STEPS[2])
@@ -192,7 +192,7 @@
     ],
 )
 def test_a_lost_file_is_refused(name, code):
-    disk, store = started()
+    disk, store = new_store()
     store.write(STEPS[0])
     store.write(STEPS[1])
     del disk.files[name]
@@ -210,13 +210,13 @@
     ],
 )
 def test_an_unreadable_log_is_refused(data, code):
-    disk, _ = started()
+    disk, _ = new_store()
     disk.files[files.LOG].data = data
     assert open_store(disk).error.code == code
 
 
 def test_a_lost_folder_comes_back_as_another_replica():
-    disk, store = started()
+    disk, store = new_store()
     store.write(STEPS[0])
     disk.wipe()
     assert open_store(disk).ok is None
@@ -228,7 +228,7 @@
 
 @pytest.mark.parametrize("other", [("other", "a"), ("lab", "b")])
 def test_the_folder_of_another_vm_or_cluster_is_refused(other):
-    disk, _ = started()
+    disk, _ = new_store()
     opened = open_or_create(disk, Identity(*other, "f9"), joining_state())
     assert opened.error.code == "folder-of-another"
 
@@ -238,7 +238,7 @@
 )
 @pytest.mark.parametrize("step", STEPS[:2] + STEPS[4:5])
 def test_after_a_failed_write_nothing_more_is_written(fault, code, step):
-    disk, store = started()
+    disk, store = new_store()
     store.write(STEPS[1])
     before = open_store(disk).ok.restored
     setattr(disk, fault, True)
@@ -251,7 +251,7 @@
 
 @given(st.binary(max_size=200))
 def test_no_bytes_crash_the_reader(tail):
-    disk, store = started()
+    disk, store = new_store()
     store.write(STEPS[1])
     disk.files[files.LOG].data += tail
     opened = open_store(disk)
