--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -51,7 +51,7 @@
     return disk, open_or_create(disk, IDENTITY, founding_state(ME, ("a",))).ok
 
 
-def after(steps):
+def state_after(steps):
     """Return the state read back after the given writes."""
     disk, store = new_store()
     for step in steps:
@@ -66,11 +66,11 @@
 
 
 def test_what_was_written_is_read_back():
-    held = after(STEPS[:6])
+    held = state_after(STEPS[:6])
     assert held.vote == VoteRecord(3)
     assert held.snapshot == snapshot(2)
     assert held.entries == (entry(3, 2), entry(4, 2), entry(5, 3))
-    assert after(STEPS).entries == (entry(10, 3),)
+    assert state_after(STEPS).entries == (entry(10, 3),)
 
 
 def total_operations():
@@ -97,11 +97,11 @@
     disk.crash(Random(seed * 1000 + point))
     found = open_store(disk).ok
     partial = STEPS[done]._replace(entries=())
-    allowed = (after(STEPS[:done]), after(STEPS[: done + 1]))
-    assert found.restored in (*allowed, after((*STEPS[:done], partial)))
+    allowed = (state_after(STEPS[:done]), state_after(STEPS[: done + 1]))
+    assert found.restored in (*allowed, state_after((*STEPS[:done], partial)))
     rest = STEPS[done:]
     assert all(found.write(step).is_ok() for step in rest)
-    assert open_store(disk).ok.restored == after(STEPS)
+    assert open_store(disk).ok.restored == state_after(STEPS)
 
 
 @pytest.mark.parametrize("seed", range(4))
