--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -59,7 +59,7 @@
     return open_store(disk).ok.restored
 
 
-def damage(disk, name, place):
+def flip_byte(disk, name, place):
     data = disk.files[name].data
     other = bytes((data[place] ^ 0xFF,))
     disk.files[name].data = data[:place] + other + data[place + 1 :]
@@ -125,7 +125,7 @@
     for name in (files.IDENTITY, files.VOTE, files.SNAPSHOT, files.LOG):
         for place in range(len(whole[name].data)):
             before = whole[name].data
-            damage(disk, name, place)
+            flip_byte(disk, name, place)
             opened = open_store(disk)
             if opened.is_ok():
                 assert opened.ok.restored == expected, (name, place)
@@ -140,9 +140,9 @@
     del disk.files[files.SYNCED]
     length = len(disk.files[files.LOG].data)
     for place in range(length - 20, length):
-        damage(disk, files.LOG, place)
+        flip_byte(disk, files.LOG, place)
         assert open_store(disk).error.code == "log-damaged"
-        damage(disk, files.LOG, place)
+        flip_byte(disk, files.LOG, place)
 
 
 def test_a_torn_end_is_cut_and_written_over():
