--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -34,7 +34,7 @@
     return Snapshot(index, term, VOTERS, b"state")
 
 
-STEPS = (
+WRITES = (
     Persist(1, vote=VoteRecord(1, ME)),
     Persist(2, entries=(entry(1), entry(2))),
     Persist(3, entries=(entry(3, data=b"z" * 2000),)),
@@ -66,17 +66,17 @@
 
 
 def test_what_was_written_is_read_back():
-    held = state_after(STEPS[:6])
+    held = state_after(WRITES[:6])
     assert held.vote == VoteRecord(3)
     assert held.snapshot == snapshot(2)
     assert held.entries == (entry(3, 2), entry(4, 2), entry(5, 3))
-    assert state_after(STEPS).entries == (entry(10, 3),)
+    assert state_after(WRITES).entries == (entry(10, 3),)
 
 
 def total_operations():
     disk, store = new_store()
     begin = disk.operations
-    for step in STEPS:
+    for step in WRITES:
         store.write(step)
     return begin, disk.operations
 
@@ -91,17 +91,17 @@
     disk.crash_at = point
     done = 0
     with pytest.raises(Crashed):
-        for step in STEPS:
+        for step in WRITES:
             assert store.write(step).is_ok()
             done += 1
     disk.crash(Random(seed * 1000 + point))
     found = open_store(disk).ok
-    partial = STEPS[done]._replace(entries=())
-    allowed = (state_after(STEPS[:done]), state_after(STEPS[: done + 1]))
-    assert found.restored in (*allowed, state_after((*STEPS[:done], partial)))
-    rest = STEPS[done:]
+    partial = WRITES[done]._replace(entries=())
+    allowed = (state_after(WRITES[:done]), state_after(WRITES[: done + 1]))
+    assert found.restored in (*allowed, state_after((*WRITES[:done], partial)))
+    rest = WRITES[done:]
     assert all(found.write(step).is_ok() for step in rest)
-    assert open_store(disk).ok.restored == state_after(STEPS)
+    assert open_store(disk).ok.restored == state_after(WRITES)
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -118,7 +118,7 @@
 
 def test_every_single_damaged_byte_of_synced_files_is_refused_or_harmless():
     disk, store = new_store()
-    for step in STEPS[:6]:
+    for step in WRITES[:6]:
         store.write(step)
     whole = store.disk.files
     expected = open_store(disk).ok.restored
@@ -136,7 +136,7 @@
 
 def test_damage_of_the_last_record_is_told_from_a_torn_end():
     disk, store = new_store()
-    store.write(STEPS[1])
+    store.write(WRITES[1])
     del disk.files[files.SYNCED]
     length = len(disk.files[files.LOG].data)
     for place in range(length - 20, length):
@@ -147,7 +147,7 @@
 
 def test_a_torn_end_is_cut_and_written_over():
     disk, store = new_store()
-    store.write(STEPS[1])
+    store.write(WRITES[1])
     disk.files[files.LOG].data += frames.encode_frame(b"unfinished", store.length)[:-3]
     again = open_store(disk).ok
     assert again.restored.entries == (entry(1), entry(2))
@@ -172,9 +172,9 @@
 
 def test_a_synced_part_that_is_gone_is_refused_with_its_offset():
     disk, store = new_store()
-    store.write(STEPS[1])
+    store.write(WRITES[1])
     length = store.length
-    store.write(STEPS[2])
+    store.write(WRITES[2])
     disk.truncate(files.LOG, length)
     problem = open_store(disk).error
     assert problem.code == "log-damaged"
@@ -193,8 +193,8 @@
 )
 def test_a_lost_file_is_refused(name, code):
     disk, store = new_store()
-    store.write(STEPS[0])
-    store.write(STEPS[1])
+    store.write(WRITES[0])
+    store.write(WRITES[1])
     del disk.files[name]
     assert open_store(disk).error.code == code
 
@@ -217,7 +217,7 @@
 
 def test_a_lost_folder_comes_back_as_another_replica():
     disk, store = new_store()
-    store.write(STEPS[0])
+    store.write(WRITES[0])
     disk.wipe()
     assert open_store(disk).ok is None
     again = Identity("lab", "a", "f2")
@@ -236,10 +236,10 @@
 @pytest.mark.parametrize(
     ("fault", "code"), [("is_full", "disk-full"), ("fails_sync", "disk-failed")]
 )
-@pytest.mark.parametrize("step", STEPS[:2] + STEPS[4:5])
+@pytest.mark.parametrize("step", WRITES[:2] + WRITES[4:5])
 def test_after_a_failed_write_nothing_more_is_written(fault, code, step):
     disk, store = new_store()
-    store.write(STEPS[1])
+    store.write(WRITES[1])
     before = open_store(disk).ok.restored
     setattr(disk, fault, True)
     assert store.write(step).error.code == code
@@ -252,7 +252,7 @@
 @given(st.binary(max_size=200))
 def test_no_bytes_crash_the_reader(tail):
     disk, store = new_store()
-    store.write(STEPS[1])
+    store.write(WRITES[1])
     disk.files[files.LOG].data += tail
     opened = open_store(disk)
     assert opened.is_error() or opened.ok.restored.entries == (entry(1), entry(2))
