--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -21,9 +21,9 @@
 from kumquatmux_storage.memory import Crashed, MemoryDisk
 from kumquatmux_storage.store import Identity, open_or_create, open_store
 
-ME = ReplicaId("a", "f1")
+REPLICA = ReplicaId("a", "f1")
 IDENTITY = Identity("lab", "a", "f1")
-VOTERS = Configuration(("a",), (ME,))
+VOTERS = Configuration(("a",), (REPLICA,))
 
 
 def entry(index, term=1, data=b"payload"):
@@ -35,7 +35,7 @@
 
 
 WRITES = (
-    Persist(1, vote=VoteRecord(1, ME)),
+    Persist(1, vote=VoteRecord(1, REPLICA)),
     Persist(2, entries=(entry(1), entry(2))),
     Persist(3, entries=(entry(3, data=b"z" * 2000),)),
     Persist(4, entries=(entry(3, 2), entry(4, 2))),
@@ -48,7 +48,7 @@
 
 def new_store():
     disk = MemoryDisk()
-    return disk, open_or_create(disk, IDENTITY, founding_state(ME, ("a",))).ok
+    return disk, open_or_create(disk, IDENTITY, founding_state(REPLICA, ("a",))).ok
 
 
 def state_after(steps):
@@ -110,10 +110,10 @@
         disk = MemoryDisk()
         disk.crash_at = point
         with pytest.raises(Crashed):
-            open_or_create(disk, IDENTITY, founding_state(ME, ("a",)))
+            open_or_create(disk, IDENTITY, founding_state(REPLICA, ("a",)))
         disk.crash(Random(seed * 1000 + point))
-        opened = open_or_create(disk, IDENTITY, founding_state(ME, ("a",)))
-        assert opened.ok.restored == founding_state(ME, ("a",))
+        opened = open_or_create(disk, IDENTITY, founding_state(REPLICA, ("a",)))
+        assert opened.ok.restored == founding_state(REPLICA, ("a",))
 
 
 def test_every_single_damaged_byte_of_synced_files_is_refused_or_harmless():
