--- a/libs/storage/tests/test_disk.py
+++ b/libs/storage/tests/test_disk.py
@@ -9,13 +9,13 @@
 from kumquatmux_storage.disk import open_folder, problem_from_os_error
 from kumquatmux_storage.store import Identity, open_or_create, open_store
 
-ME = ReplicaId("a", "f1")
+REPLICA = ReplicaId("a", "f1")
 IDENTITY = Identity("lab", "a", "f1")
 
 
 def test_a_real_folder_holds_what_was_written(tmp_path):
     disk = open_folder(tmp_path / "data").ok
-    store = open_or_create(disk, IDENTITY, founding_state(ME, ("a",))).ok
+    store = open_or_create(disk, IDENTITY, founding_state(REPLICA, ("a",))).ok
     entry = Entry(1, 1, EntryKind.DATA, b"x")
     assert store.write(Persist(1, entries=(entry,))).is_ok()
     disk.close()
