Rename FIRST to CREATION_OPERATIONS

The constant counts the operations that create a folder.

Rename: libs/storage/tests/test_store.py FIRST CREATION_OPERATIONS

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -81,11 +81,11 @@
     return begin, disk.operations
 
 
-FIRST, LAST = total_operations()
+CREATION_OPERATIONS, LAST = total_operations()
 
 
 @pytest.mark.parametrize("seed", range(6))
-@pytest.mark.parametrize("point", range(FIRST + 1, LAST + 1))
+@pytest.mark.parametrize("point", range(CREATION_OPERATIONS + 1, LAST + 1))
 def test_a_crash_at_any_write_or_sync_loses_nothing_that_was_synced(point, seed):
     disk, store = new_store()
     disk.crash_at = point
@@ -106,7 +106,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_a_crash_while_a_folder_is_created_leaves_it_new_or_whole(seed):
-    for point in range(1, FIRST + 1):
+    for point in range(1, CREATION_OPERATIONS + 1):
         disk = MemoryDisk()
         disk.crash_at = point
         with pytest.raises(Crashed):
