--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -81,11 +81,11 @@
     return begin, disk.operations
 
 
-CREATION_OPERATIONS, LAST = total_operations()
+CREATION_OPERATIONS, TOTAL_OPERATIONS = total_operations()
 
 
 @pytest.mark.parametrize("seed", range(6))
-@pytest.mark.parametrize("point", range(CREATION_OPERATIONS + 1, LAST + 1))
+@pytest.mark.parametrize("point", range(CREATION_OPERATIONS + 1, TOTAL_OPERATIONS + 1))
 def test_a_crash_at_any_write_or_sync_loses_nothing_that_was_synced(point, seed):
     disk, store = new_store()
     disk.crash_at = point
