--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -73,7 +73,7 @@
     assert state_after(WRITES).entries == (entry(10, 3),)
 
 
-def total_operations():
+def count_operations():
     disk, store = new_store()
     begin = disk.operations
     for step in WRITES:
@@ -81,7 +81,7 @@
     return begin, disk.operations
 
 
-CREATION_OPERATIONS, TOTAL_OPERATIONS = total_operations()
+CREATION_OPERATIONS, TOTAL_OPERATIONS = count_operations()
 
 
 @pytest.mark.parametrize("seed", range(6))
