Rename test_what_was_written_is_read_back to test_written_state_is_read_back

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_what_was_written_is_read_back test_written_state_is_read_back

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -65,7 +65,7 @@
     disk.files[name].data = data[:place] + other + data[place + 1 :]
 
 
-def test_what_was_written_is_read_back():
+def test_written_state_is_read_back():
     held = state_after(WRITES[:6])
     assert held.vote == VoteRecord(3)
     assert held.snapshot == snapshot(2)
