Rename test_a_crash_at_any_write_or_sync_loses_nothing_that_was_synced to test_crash_at_any_disk_operation_keeps_synced_data

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_a_crash_at_any_write_or_sync_loses_nothing_that_was_synced test_crash_at_any_disk_operation_keeps_synced_data

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -86,7 +86,7 @@
 
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("point", range(CREATION_OPERATIONS + 1, TOTAL_OPERATIONS + 1))
-def test_a_crash_at_any_write_or_sync_loses_nothing_that_was_synced(point, seed):
+def test_crash_at_any_disk_operation_keeps_synced_data(point, seed):
     disk, store = new_store()
     disk.crash_at = point
     done = 0
