Rename test_a_crash_while_a_folder_is_created_leaves_it_new_or_whole to test_folder_can_be_opened_or_created_after_crash_during_creation

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_a_crash_while_a_folder_is_created_leaves_it_new_or_whole test_folder_can_be_opened_or_created_after_crash_during_creation

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -105,7 +105,7 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_a_crash_while_a_folder_is_created_leaves_it_new_or_whole(seed):
+def test_folder_can_be_opened_or_created_after_crash_during_creation(seed):
     for point in range(1, CREATION_OPERATIONS + 1):
         disk = MemoryDisk()
         disk.crash_at = point
