Rename test_every_single_damaged_byte_of_synced_files_is_refused_or_harmless to test_any_damaged_byte_is_detected_or_does_not_change_the_state

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_every_single_damaged_byte_of_synced_files_is_refused_or_harmless test_any_damaged_byte_is_detected_or_does_not_change_the_state

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -116,7 +116,7 @@
         assert opened.ok.restored == founding_state(REPLICA, ("a",))
 
 
-def test_every_single_damaged_byte_of_synced_files_is_refused_or_harmless():
+def test_any_damaged_byte_is_detected_or_does_not_change_the_state():
     disk, store = new_store()
     for step in WRITES[:6]:
         store.write(step)
