Rename test_damage_of_the_last_record_is_told_from_a_torn_end to test_damage_to_last_record_is_not_taken_for_an_incomplete_write

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_damage_of_the_last_record_is_told_from_a_torn_end test_damage_to_last_record_is_not_taken_for_an_incomplete_write

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -134,7 +134,7 @@
             whole[name].data = before
 
 
-def test_damage_of_the_last_record_is_told_from_a_torn_end():
+def test_damage_to_last_record_is_not_taken_for_an_incomplete_write():
     disk, store = new_store()
     store.write(WRITES[1])
     del disk.files[files.SYNCED]
