Rename test_a_torn_end_is_cut_and_written_over to test_incomplete_write_at_log_end_is_truncated_and_overwritten

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_a_torn_end_is_cut_and_written_over test_incomplete_write_at_log_end_is_truncated_and_overwritten

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -145,7 +145,7 @@
         flip_byte(disk, files.LOG, place)
 
 
-def test_a_torn_end_is_cut_and_written_over():
+def test_incomplete_write_at_log_end_is_truncated_and_overwritten():
     disk, store = new_store()
     store.write(WRITES[1])
     disk.files[files.LOG].data += frames.encode_frame(b"unfinished", store.length)[:-3]
