Rename test_an_end_that_lacks_the_few_bytes_in_a_last_sector_is_torn to test_zeroed_bytes_in_last_sector_are_an_incomplete_write

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_an_end_that_lacks_the_few_bytes_in_a_last_sector_is_torn test_zeroed_bytes_in_last_sector_are_an_incomplete_write

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -156,7 +156,7 @@
 
 
 @pytest.mark.parametrize("lost", range(1, 5))
-def test_an_end_that_lacks_the_few_bytes_in_a_last_sector_is_torn(lost):
+def test_zeroed_bytes_in_last_sector_are_an_incomplete_write(lost):
     disk, store = new_store()
     payload = bytes(frames.SECTOR_BYTES + lost)
     room = len(payload) - len(frames.encode_frame(payload, store.length))
