Rename test_a_synced_part_that_is_gone_is_refused_with_its_offset to test_missing_synced_data_is_reported_with_its_offset

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_a_synced_part_that_is_gone_is_refused_with_its_offset test_missing_synced_data_is_reported_with_its_offset

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -170,7 +170,7 @@
     assert again.ok.restored == new_store()[1].restored
 
 
-def test_a_synced_part_that_is_gone_is_refused_with_its_offset():
+def test_missing_synced_data_is_reported_with_its_offset():
     disk, store = new_store()
     store.write(WRITES[1])
     length = store.length
