Rename test_a_lost_file_is_refused to test_folder_with_missing_file_is_not_opened

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_a_lost_file_is_refused test_folder_with_missing_file_is_not_opened

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -191,7 +191,7 @@
         (files.IDENTITY, "identity-missing"),
     ],
 )
-def test_a_lost_file_is_refused(name, code):
+def test_folder_with_missing_file_is_not_opened(name, code):
     disk, store = new_store()
     store.write(WRITES[0])
     store.write(WRITES[1])
