Rename test_an_unreadable_log_is_refused to test_folder_with_unreadable_log_is_not_opened

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_an_unreadable_log_is_refused test_folder_with_unreadable_log_is_not_opened

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -209,7 +209,7 @@
         (b"KQMX\x02\x04\x00\x00", "log-damaged"),
     ],
 )
-def test_an_unreadable_log_is_refused(data, code):
+def test_folder_with_unreadable_log_is_not_opened(data, code):
     disk, _ = new_store()
     disk.files[files.LOG].data = data
     assert open_store(disk).error.code == code
