Rename test_a_lost_folder_comes_back_as_another_replica to test_recreated_folder_is_a_different_replica

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_a_lost_folder_comes_back_as_another_replica test_recreated_folder_is_a_different_replica

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -215,7 +215,7 @@
     assert open_store(disk).error.code == code
 
 
-def test_a_lost_folder_comes_back_as_another_replica():
+def test_recreated_folder_is_a_different_replica():
     disk, store = new_store()
     store.write(WRITES[0])
     disk.wipe()
