Rename test_the_folder_of_another_vm_or_cluster_is_refused to test_folder_of_another_vm_or_cluster_is_not_opened

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_the_folder_of_another_vm_or_cluster_is_refused test_folder_of_another_vm_or_cluster_is_not_opened

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -227,7 +227,7 @@
 
 
 @pytest.mark.parametrize("other", [("other", "a"), ("lab", "b")])
-def test_the_folder_of_another_vm_or_cluster_is_refused(other):
+def test_folder_of_another_vm_or_cluster_is_not_opened(other):
     disk, _ = new_store()
     opened = open_or_create(disk, Identity(*other, "f9"), joining_state())
     assert opened.error.code == "folder-of-another"
