Rename test_after_a_failed_write_nothing_more_is_written to test_no_write_succeeds_after_a_failed_write

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_after_a_failed_write_nothing_more_is_written test_no_write_succeeds_after_a_failed_write

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -237,7 +237,7 @@
     ("fault", "code"), [("is_full", "disk-full"), ("fails_sync", "disk-failed")]
 )
 @pytest.mark.parametrize("step", WRITES[:2] + WRITES[4:5])
-def test_after_a_failed_write_nothing_more_is_written(fault, code, step):
+def test_no_write_succeeds_after_a_failed_write(fault, code, step):
     disk, store = new_store()
     store.write(WRITES[1])
     before = open_store(disk).ok.restored
