Rename test_no_bytes_crash_the_reader to test_arbitrary_bytes_at_log_end_raise_no_exception

The name states the checked behaviour.

Rename: libs/storage/tests/test_store.py test_no_bytes_crash_the_reader test_arbitrary_bytes_at_log_end_raise_no_exception

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -250,7 +250,7 @@
 
 
 @given(st.binary(max_size=200))
-def test_no_bytes_crash_the_reader(tail):
+def test_arbitrary_bytes_at_log_end_raise_no_exception(tail):
     disk, store = new_store()
     store.write(WRITES[1])
     disk.files[files.LOG].data += tail
