Rename test_a_real_folder_holds_what_was_written to test_written_entry_is_read_back_from_file_system

The name states the checked behaviour.

Rename: libs/storage/tests/test_disk.py test_a_real_folder_holds_what_was_written test_written_entry_is_read_back_from_file_system

--- a/libs/storage/tests/test_disk.py
+++ b/libs/storage/tests/test_disk.py
@@ -13,7 +13,7 @@
 IDENTITY = Identity("lab", "a", "f1")
 
 
-def test_a_real_folder_holds_what_was_written(tmp_path):
+def test_written_entry_is_read_back_from_file_system(tmp_path):
     disk = open_folder(tmp_path / "data").ok
     store = open_or_create(disk, IDENTITY, founding_state(REPLICA, ("a",))).ok
     entry = Entry(1, 1, EntryKind.DATA, b"x")
