Rename test_a_folder_that_cannot_be_made_is_a_problem to test_folder_creation_failure_is_reported

The name states the checked behaviour.

Rename: libs/storage/tests/test_disk.py test_a_folder_that_cannot_be_made_is_a_problem test_folder_creation_failure_is_reported

--- a/libs/storage/tests/test_disk.py
+++ b/libs/storage/tests/test_disk.py
@@ -33,7 +33,7 @@
     again.ok.close()
 
 
-def test_a_folder_that_cannot_be_made_is_a_problem(tmp_path):
+def test_folder_creation_failure_is_reported(tmp_path):
     (tmp_path / "file").write_text("")
     assert open_folder(tmp_path / "file" / "data").error.code == "disk-failed"
 
