Rename test_errors_of_the_system_are_named to test_os_errors_map_to_problem_codes

The name states the checked behaviour.

Rename: libs/storage/tests/test_disk.py test_errors_of_the_system_are_named test_os_errors_map_to_problem_codes

--- a/libs/storage/tests/test_disk.py
+++ b/libs/storage/tests/test_disk.py
@@ -46,5 +46,5 @@
         (errno.EIO, "disk-failed"),
     ],
 )
-def test_errors_of_the_system_are_named(number, code):
+def test_os_errors_map_to_problem_codes(number, code):
     assert problem_from_os_error(OSError(number, "text"), "log").code == code
