--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -66,10 +66,10 @@
 
 
 def test_written_state_is_read_back():
-    held = state_after(WRITES[:6])
-    assert held.vote == VoteRecord(3)
-    assert held.snapshot == snapshot(2)
-    assert held.entries == (entry(3, 2), entry(4, 2), entry(5, 3))
+    state = state_after(WRITES[:6])
+    assert state.vote == VoteRecord(3)
+    assert state.snapshot == snapshot(2)
+    assert state.entries == (entry(3, 2), entry(4, 2), entry(5, 3))
     assert state_after(WRITES).entries == (entry(10, 3),)
 
 
