--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -140,10 +140,7 @@
     if store is None:
         return create_store(disk, identity, initial_state)
     stored = store.identity
-    if (stored.cluster, stored.vm) != (
-        identity.cluster,
-        identity.vm,
-    ):
+    if (stored.cluster, stored.vm) != (identity.cluster, identity.vm):
         detail = f"the folder belongs to VM {stored.vm} of cluster {stored.cluster}"
         return Error(Problem("folder-of-another", detail, files.IDENTITY))
     return Ok(store)
