Rename length to valid_bytes

The field is the size of the valid part of the log file.

Rename: libs/storage/src/kumquatmux_storage/files.py length valid_bytes

--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -80,7 +80,7 @@
 
     base: LogHeader
     entries: tuple[Entry, ...]
-    length: int
+    valid_bytes: int
     has_incomplete_write: bool
 
 
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -41,7 +41,7 @@
         self.restored = restored
         self.entries = list(log.entries)
         self.log_header = log.base
-        self.length = log.length
+        self.length = log.valid_bytes
         self.failure: Problem | None = None
 
     def write(self, persist: Persist) -> Result[None, Problem]:
@@ -224,9 +224,9 @@
         return Error(content.error)
     log = content.ok.log_file
     if log.has_incomplete_write:
-        disk.truncate(files.LOG, log.length)
+        disk.truncate(files.LOG, log.valid_bytes)
         disk.sync(files.LOG)
-        log_decision("storage-cut", file=files.LOG, offset=log.length)
+        log_decision("storage-cut", file=files.LOG, offset=log.valid_bytes)
     state = content.ok.state
     store = Store(disk, identity.ok, state, log._replace(entries=state.entries))
     if state.snapshot.log_index > log.base.previous_log_index:
