--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -74,7 +74,7 @@
     Attributes:
         base: Header frame of the log file.
         entries: Log entries, without those that later entries overwrote.
-        length: Length of the valid frames, including the file header, in bytes.
+        valid_bytes: Length of the valid frames, including the file header, in bytes.
         has_incomplete_write: Whether an incomplete write follows the valid frames.
     """
 
