Rename record to synced_length

The local is the synced length, and record names a parameter elsewhere in the file.

Rename: libs/storage/src/kumquatmux_storage/store.py record synced_length

--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -101,8 +101,8 @@
         The recorded length is not synced itself and may be out of date: it only helps
         to tell damage to synced data from an incomplete write.
         """
-        record = SyncedLength(self.log_header.generation, self.length)
-        self.disk.replace(files.SYNCED, files.whole_file(files.SYNCED, record))
+        synced_length = SyncedLength(self.log_header.generation, self.length)
+        self.disk.replace(files.SYNCED, files.whole_file(files.SYNCED, synced_length))
 
 
 class FolderContent(NamedTuple):
