Rename lock to lock_descriptor

The parameter is a file descriptor.

Rename: libs/storage/src/kumquatmux_storage/disk.py lock lock_descriptor

--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -55,9 +55,9 @@
         folder: Path of the folder.
     """
 
-    def __init__(self, folder: Path, lock: int) -> None:
+    def __init__(self, folder: Path, lock_descriptor: int) -> None:
         self.folder = folder
-        self._lock_descriptor = lock
+        self._lock_descriptor = lock_descriptor
         self._descriptors: dict[str, int] = {}
 
     def names(self) -> list[str]:
