Rename begin to creation_operations

The local is the number of operations at creation.

Rename: libs/storage/tests/test_store.py begin creation_operations

--- a/libs/storage/tests/test_store.py
+++ b/libs/storage/tests/test_store.py
@@ -75,10 +75,10 @@
 
 def count_operations():
     disk, store = new_store()
-    begin = disk.operations
+    creation_operations = disk.operations
     for step in WRITES:
         store.write(step)
-    return begin, disk.operations
+    return creation_operations, disk.operations
 
 
 CREATION_OPERATIONS, TOTAL_OPERATIONS = count_operations()
