--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -139,7 +139,7 @@
     if header.is_error():
         return _with_recovery_advice(header.error)
     found = frames.scan_frames(data)
-    if found.is_damaged or not found.payloads:
+    if found.has_damaged_data or not found.payloads:
         detail = f"damaged at offset {found.end_offset}"
         return _with_recovery_advice(Problem("log-damaged", detail, LOG))
     log_header = _decode_payload(
--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -47,7 +47,7 @@
     payloads: tuple[bytes, ...]
     end_offset: int
     has_incomplete_write: bool = False
-    is_damaged: bool = False
+    has_damaged_data: bool = False
 
 
 def encode_file_header(kind: int) -> bytes:
