--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -41,7 +41,7 @@
         payloads: Payloads of the valid frames.
         end_offset: Offset in bytes at which the last valid frame ends.
         has_incomplete_write: Whether an incomplete write follows the valid frames.
-        is_damaged: Whether data other than an incomplete write follows them.
+        has_damaged_data: Whether data other than an incomplete write follows them.
     """
 
     payloads: tuple[bytes, ...]
