Merge the reworded storage folder

Cause: comments, names and messages read oddly to newcomers. Change: texts and names only; the changes to tests were read: names and case ids.

--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -1,4 +1,4 @@
-"""The narrow interface to a disk, and the real one."""
+"""Interface to the files of a data folder, and its file system implementation."""
 
 from __future__ import annotations
 
@@ -12,131 +12,132 @@
 
 from kumquatmux_core.problems import Problem
 
-LOCK_NAME = "lock"
-FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+LOCK_FILE_NAME = "lock"
+DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
 
 class Disk(Protocol):
-    """Files of one folder; every method may raise ``OSError``.
+    """Interface to the files of one folder; every method may raise ``OSError``.
 
-    What is written lasts only once the file is synced; new, renamed and removed
-    names last only once the names are synced.
+    Written data is durable only after the file is synced; created, renamed and removed
+    file names are durable only after the names are synced.
     """
 
     def names(self) -> list[str]:
         """Return the names of all files."""
 
     def read(self, name: str) -> bytes:
-        """Return a whole file."""
+        """Return the content of a file."""
 
     def append(self, name: str, data: bytes) -> None:
-        """Write at the end of a file, which is made if it is missing."""
+        """Append to a file, which is created if it does not exist."""
 
     def replace(self, name: str, data: bytes) -> None:
-        """Overwrite a file from its start, which is made if it is missing."""
+        """Replace the content of a file, which is created if it does not exist."""
 
     def truncate(self, name: str, length: int) -> None:
-        """Cut a file to a length in bytes."""
+        """Truncate a file to a length in bytes."""
 
     def sync(self, name: str) -> None:
-        """Make the content of a file last."""
+        """Flush the content of a file to durable storage."""
 
     def rename(self, old: str, new: str) -> None:
-        """Give a file another name, in place of a file that has it."""
+        """Rename a file, replacing any file that has the new name."""
 
     def sync_names(self) -> None:
-        """Make the names of all files last."""
+        """Flush created and renamed file names to durable storage."""
 
 
 class FolderDisk:
-    """The files of a real folder, held by one process at a time.
+    """Files of a file system folder that one process locks exclusively.
 
     Attributes:
-        folder: Where the files are.
+        folder: Path of the folder.
     """
 
-    def __init__(self, folder: Path, lock: int) -> None:
+    def __init__(self, folder: Path, lock_descriptor: int) -> None:
         self.folder = folder
-        self._lock = lock
-        self._open: dict[str, int] = {}
+        self._lock_descriptor = lock_descriptor
+        self._descriptors: dict[str, int] = {}
 
     def names(self) -> list[str]:
-        """Return the names of all files but the lock."""
+        """Return the names of all files except the lock file."""
         found = (path.name for path in self.folder.iterdir() if path.is_file())
-        return sorted(name for name in found if name != LOCK_NAME)
+        return sorted(name for name in found if name != LOCK_FILE_NAME)
 
     def read(self, name: str) -> bytes:
-        """Return a whole file."""
+        """Return the content of a file."""
         return (self.folder / name).read_bytes()
 
     def append(self, name: str, data: bytes) -> None:
-        """Write at the end of a file."""
-        file = self._file(name)
+        """Append to a file, which is created if it does not exist."""
+        file = self._descriptor(name)
         os.lseek(file, 0, os.SEEK_END)
         _write_all(file, data)
 
     def replace(self, name: str, data: bytes) -> None:
-        """Overwrite a file from its start."""
-        file = self._file(name)
+        """Replace the content of a file, which is created if it does not exist."""
+        file = self._descriptor(name)
         os.lseek(file, 0, os.SEEK_SET)
         _write_all(file, data)
         os.ftruncate(file, len(data))
 
     def truncate(self, name: str, length: int) -> None:
-        """Cut a file to a length in bytes."""
-        os.ftruncate(self._file(name), length)
+        """Truncate a file to a length in bytes."""
+        os.ftruncate(self._descriptor(name), length)
 
     def sync(self, name: str) -> None:
-        """Make the content of a file last."""
-        os.fsync(self._file(name))
+        """Flush the content of a file to durable storage."""
+        os.fsync(self._descriptor(name))
 
     def rename(self, old: str, new: str) -> None:
-        """Give a file another name."""
-        self._close(new)
-        self._close(old)
+        """Rename a file, replacing any file that has the new name."""
+        self._close_file(new)
+        self._close_file(old)
         os.replace(self.folder / old, self.folder / new)
 
     def sync_names(self) -> None:
-        """Make the names of all files last."""
-        handle = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        """Flush created and renamed file names to durable storage."""
+        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
         try:
-            os.fsync(handle)
+            os.fsync(descriptor)
         finally:
-            os.close(handle)
+            os.close(descriptor)
 
     def close(self) -> None:
-        """Let go of the folder."""
-        for name in list(self._open):
-            self._close(name)
-        os.close(self._lock)
-
-    def _file(self, name: str) -> int:
-        file = self._open.get(name)
+        """Close all files and release the folder lock."""
+        for name in list(self._descriptors):
+            self._close_file(name)
+        os.close(self._lock_descriptor)
+
+    def _descriptor(self, name: str) -> int:
+        """Return the descriptor of a file, which is opened or created if needed."""
+        file = self._descriptors.get(name)
         if file is None:
             flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
             file = os.open(self.folder / name, flags, 0o600)
-            self._open[name] = file
+            self._descriptors[name] = file
         return file
 
-    def _close(self, name: str) -> None:
-        file = self._open.pop(name, None)
+    def _close_file(self, name: str) -> None:
+        file = self._descriptors.pop(name, None)
         if file is not None:
             os.close(file)
 
 
 def open_folder(folder: Path) -> Result[FolderDisk, Problem]:
-    """Return the files of a folder, which is made if missing, and lock it.
+    """Open and lock a folder, which is created if it does not exist.
 
     Errors:
-        ``folder-in-use`` if another process holds it, ``disk-full`` or
-        ``disk-failed`` if it cannot be made.
+        ``folder-in-use`` if another process has locked it; ``disk-full`` or
+        ``disk-failed`` if the folder or its lock file cannot be created.
     """
     try:
         folder.mkdir(mode=0o700, parents=True, exist_ok=True)
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
-        lock = os.open(folder / LOCK_NAME, flags, 0o600)
+        lock = os.open(folder / LOCK_FILE_NAME, flags, 0o600)
     except OSError as error:
-        return Error(problem_of(error, str(folder)))
+        return Error(problem_from_os_error(error, str(folder)))
     try:
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except OSError:
@@ -146,9 +147,9 @@
     return Ok(FolderDisk(folder, lock))
 
 
-def problem_of(error: OSError, subject: str) -> Problem:
-    """Return an operating system's error as a problem."""
-    if error.errno in FULL_ERRORS:
+def problem_from_os_error(error: OSError, subject: str) -> Problem:
+    """Convert an operating system error to a ``Problem``."""
+    if error.errno in DISK_FULL_ERRNOS:
         detail = "the disk is full; free space and restart this process"
         return Problem("disk-full", detail, subject)
     detail = f"the disk failed: {error.strerror or error}"
--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -1,4 +1,4 @@
-"""The kinds of files in a data folder and what their frames hold."""
+"""Files of a data folder, and the records stored in their frames."""
 
 from __future__ import annotations
 
@@ -20,21 +20,21 @@
 SYNCED = "synced"
 TEMPORARY_SUFFIX = ".tmp"
 
-KINDS = {IDENTITY: 1, VOTE: 2, SNAPSHOT: 3, LOG: 4, SYNCED: 5}
+FILE_KINDS = {IDENTITY: 1, VOTE: 2, SNAPSHOT: 3, LOG: 4, SYNCED: 5}
 
-WAY_OUT = (
+RECOVERY_ADVICE = (
     "nothing was changed; if the other control VMs have a majority, move this data "
     "folder away and restart, and this VM rejoins as a new replica"
 )
 
 
 class Identity(NamedTuple):
-    """Whose data folder it is; written last when the folder is created.
+    """Owner of a data folder; written last when the folder is created.
 
     Attributes:
-        cluster: Name of the cluster.
-        vm: The VM.
-        folder: Made at random, so that a folder made anew is another replica.
+        cluster: Name of the cluster that the replica belongs to.
+        vm: ID of the VM that the replica runs on.
+        folder: Random folder ID, so that a recreated folder is a different replica.
     """
 
     cluster: str
@@ -42,26 +42,26 @@
     folder: str
 
 
-class Base(NamedTuple):
-    """First frame of a log file.
+class LogHeader(NamedTuple):
+    """First frame of a log file, which gives its position in the replicated log.
 
     Attributes:
-        generation: Grows by one each time the file is written anew.
-        log_index: The entry before the first one in the file.
-        term: Term of that entry.
+        generation: Incremented each time the log file is rewritten.
+        previous_log_index: Index of the entry that precedes the first one in the file.
+        previous_term: Term of the entry at ``previous_log_index``.
     """
 
     generation: int
-    log_index: int
-    term: int
+    previous_log_index: int
+    previous_term: int
 
 
 class SyncedLength(NamedTuple):
-    """How long the log file was when it was last synced.
+    """Length of the log file at its last recorded sync.
 
     Attributes:
-        generation: Of the log file meant.
-        length: Its length in bytes.
+        generation: Generation of the log file that the length applies to.
+        length: Length of the log file in bytes.
     """
 
     generation: int
@@ -69,85 +69,98 @@
 
 
 class LogFile(NamedTuple):
-    """What a log file holds.
+    """Decoded content of a log file.
 
     Attributes:
-        base: Its first frame.
-        entries: The entries, replaced ones left out.
-        length: Length of its sound part in bytes.
-        is_torn: Whether something follows the sound part.
+        base: Header frame of the log file.
+        entries: Log entries, without those that later entries overwrote.
+        valid_bytes: Length of the valid frames, including the file header, in bytes.
+        has_incomplete_write: Whether an incomplete write follows the valid frames.
     """
 
-    base: Base
+    base: LogHeader
     entries: tuple[Entry, ...]
-    length: int
-    is_torn: bool
+    valid_bytes: int
+    has_incomplete_write: bool
 
 
-def encode(record: NamedTuple | tuple[Entry, ...]) -> bytes:
-    """Return a record as the payload of a frame."""
+def encode_record(record: NamedTuple | tuple[Entry, ...]) -> bytes:
+    """Encode a record as the payload of a frame."""
     return msgspec.msgpack.encode(record)
 
 
 def whole_file(name: str, record: NamedTuple) -> bytes:
-    """Return a file that holds one record."""
-    payload = encode(record)
-    header = frames.file_header(KINDS[name])
-    return header + frames.frame(payload, len(header))
+    """Return the content of a file that stores a single record."""
+    payload = encode_record(record)
+    header = frames.encode_file_header(FILE_KINDS[name])
+    return header + frames.encode_frame(payload, len(header))
 
 
 def read_record(disk: Disk, name: str, record_type: Any) -> Result[Any, Problem]:
-    """Return the one record of a file that is replaced as a whole."""
+    """Read and decode a file that stores a single record.
+
+    Errors:
+        ``file-short``, ``file-kind``, ``file-version``, ``file-damaged`` or
+        ``file-content``.
+    """
     data = disk.read(name)
-    header = frames.check_header(data, KINDS[name], name)
+    header = frames.check_file_header(data, FILE_KINDS[name], name)
     if header.is_error():
-        return _with_way_out(header.error)
-    found = frames.scan(data)
-    if len(found.payloads) != 1 or found.length != len(data):
-        detail = f"damaged at offset {found.length}"
-        return _with_way_out(Problem("file-damaged", detail, name))
-    return _decode(found.payloads[0], record_type, name, frames.HEADER_BYTES)
+        return _with_recovery_advice(header.error)
+    found = frames.scan_frames(data)
+    if len(found.payloads) != 1 or found.end_offset != len(data):
+        detail = f"damaged at offset {found.end_offset}"
+        return _with_recovery_advice(Problem("file-damaged", detail, name))
+    return _decode_payload(
+        found.payloads[0], record_type, name, frames.FILE_HEADER_BYTES
+    )
 
 
 def read_vote(disk: Disk) -> Result[VoteRecord, Problem]:
-    """Return the vote record."""
+    """Read the vote record."""
     return read_record(disk, VOTE, VoteRecord)
 
 
 def read_snapshot(disk: Disk) -> Result[Snapshot, Problem]:
-    """Return the snapshot."""
+    """Read the snapshot."""
     return read_record(disk, SNAPSHOT, Snapshot)
 
 
 def read_log(disk: Disk) -> Result[LogFile, Problem]:
-    """Return what the log file holds; a torn end is left out.
+    """Read and decode the log file without an incomplete write at its end.
 
     Errors:
-        ``log-damaged`` with the offset if sound frames follow a damaged one or a
-        part that had been synced is gone.
+        ``log-damaged`` with the offset if a frame is damaged rather than incomplete,
+        or if data that had been synced is missing; ``log-gap`` if log indexes are not
+        consecutive; or an error of the file header or of decoding a frame.
     """
     data = disk.read(LOG)
-    header = frames.check_header(data, KINDS[LOG], LOG)
+    header = frames.check_file_header(data, FILE_KINDS[LOG], LOG)
     if header.is_error():
-        return _with_way_out(header.error)
-    found = frames.scan(data)
-    if found.is_damaged or not found.payloads:
-        detail = f"damaged at offset {found.length}"
-        return _with_way_out(Problem("log-damaged", detail, LOG))
-    base = _decode(found.payloads[0], Base, LOG, frames.HEADER_BYTES)
-    if base.is_error():
-        return Error(base.error)
-    synced = _synced_length(disk, base.ok.generation)
-    if found.length < synced:
-        detail = f"damaged at offset {found.length}, synced up to {synced}"
-        return _with_way_out(Problem("log-damaged", detail, LOG))
-    entries = _replay(base.ok, found.payloads[1:])
+        return _with_recovery_advice(header.error)
+    found = frames.scan_frames(data)
+    if found.has_damaged_data or not found.payloads:
+        detail = f"damaged at offset {found.end_offset}"
+        return _with_recovery_advice(Problem("log-damaged", detail, LOG))
+    log_header = _decode_payload(
+        found.payloads[0], LogHeader, LOG, frames.FILE_HEADER_BYTES
+    )
+    if log_header.is_error():
+        return Error(log_header.error)
+    synced_length = _synced_length(disk, log_header.ok.generation)
+    if found.end_offset < synced_length:
+        detail = f"damaged at offset {found.end_offset}, synced up to {synced_length}"
+        return _with_recovery_advice(Problem("log-damaged", detail, LOG))
+    entries = _decode_entries(log_header.ok, found.payloads[1:])
     if entries.is_error():
         return Error(entries.error)
-    return Ok(LogFile(base.ok, entries.ok, found.length, found.is_torn))
+    return Ok(
+        LogFile(log_header.ok, entries.ok, found.end_offset, found.has_incomplete_write)
+    )
 
 
 def _synced_length(disk: Disk, generation: int) -> int:
+    """Return the recorded synced length of a log generation, or 0 if unknown."""
     if SYNCED not in disk.names():
         return 0
     record = read_record(disk, SYNCED, SyncedLength)
@@ -156,33 +169,34 @@
     return record.ok.length
 
 
-def _replay(
-    base: Base, payloads: tuple[bytes, ...]
+def _decode_entries(
+    log_header: LogHeader, payloads: tuple[bytes, ...]
 ) -> Result[tuple[Entry, ...], Problem]:
+    """Decode batches of entries and apply them in order; later entries overwrite."""
     entries: list[Entry] = []
     for payload in payloads:
-        batch = _decode(payload, tuple[Entry, ...], LOG, 0)
+        batch = _decode_payload(payload, tuple[Entry, ...], LOG, 0)
         if batch.is_error():
             return Error(batch.error)
         for entry in batch.ok:
-            place = entry.log_index - base.log_index - 1
-            if not 0 <= place <= len(entries):
-                detail = f"entry {entry.log_index} does not follow the one before"
-                return _with_way_out(Problem("log-gap", detail, LOG))
-            del entries[place:]
+            position = entry.log_index - log_header.previous_log_index - 1
+            if not 0 <= position <= len(entries):
+                detail = f"entry {entry.log_index} does not follow the preceding entry"
+                return _with_recovery_advice(Problem("log-gap", detail, LOG))
+            del entries[position:]
             entries.append(entry)
     return Ok(tuple(entries))
 
 
-def _decode(
+def _decode_payload(
     payload: bytes, record_type: Any, name: str, offset: int
 ) -> Result[Any, Problem]:
     try:
         return Ok(msgspec.msgpack.decode(payload, type=record_type))
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         problem = Problem("file-content", f"at offset {offset}: {error}", name)
-        return _with_way_out(problem)
+        return _with_recovery_advice(problem)
 
 
-def _with_way_out(problem: Problem) -> Result[Any, Problem]:
-    return Error(problem._replace(detail=f"{problem.detail}; {WAY_OUT}"))
+def _with_recovery_advice(problem: Problem) -> Result[Any, Problem]:
+    return Error(problem._replace(detail=f"{problem.detail}; {RECOVERY_ADVICE}"))
--- a/libs/storage/tests/test_disk.py
+++ b/libs/storage/tests/test_disk.py
@@ -6,16 +6,16 @@
 
 from kumquatmux_agreement.entries import Entry, EntryKind, ReplicaId, founding_state
 from kumquatmux_agreement.events import Persist
-from kumquatmux_storage.disk import open_folder, problem_of
+from kumquatmux_storage.disk import open_folder, problem_from_os_error
 from kumquatmux_storage.store import Identity, open_or_create, open_store
 
-ME = ReplicaId("a", "f1")
+REPLICA = ReplicaId("a", "f1")
 IDENTITY = Identity("lab", "a", "f1")
 
 
-def test_a_real_folder_holds_what_was_written(tmp_path):
+def test_written_entry_is_read_back_from_file_system(tmp_path):
     disk = open_folder(tmp_path / "data").ok
-    store = open_or_create(disk, IDENTITY, founding_state(ME, ("a",))).ok
+    store = open_or_create(disk, IDENTITY, founding_state(REPLICA, ("a",))).ok
     entry = Entry(1, 1, EntryKind.DATA, b"x")
     assert store.write(Persist(1, entries=(entry,))).is_ok()
     disk.close()
@@ -33,7 +33,7 @@
     again.ok.close()
 
 
-def test_a_folder_that_cannot_be_made_is_a_problem(tmp_path):
+def test_folder_creation_failure_is_reported(tmp_path):
     (tmp_path / "file").write_text("")
     assert open_folder(tmp_path / "file" / "data").error.code == "disk-failed"
 
@@ -46,5 +46,5 @@
         (errno.EIO, "disk-failed"),
     ],
 )
-def test_errors_of_the_system_are_named(number, code):
-    assert problem_of(OSError(number, "text"), "log").code == code
+def test_os_errors_map_to_problem_codes(number, code):
+    assert problem_from_os_error(OSError(number, "text"), "log").code == code
