Reword the texts of libs/core

Doc comments and messages were figurative or elliptic; they now use the usual technical terms. One codec test matches the new wording of a ValueError. Behaviour is unchanged.

--- a/libs/core/src/kumquatmux_core/codec.py
+++ b/libs/core/src/kumquatmux_core/codec.py
@@ -1,8 +1,9 @@
-"""Messages between the system's processes: a kind, a version and a record.
+"""Binary encoding of the messages between the system's processes.
 
-A message type is a ``NamedTuple`` registered under a kind of its own. Its fields
-travel as a msgpack array, so a newer sender may append fields that an older
-receiver does not know.
+An encoded message has a three-byte header, with the protocol version and the message
+kind, and a body. A message type is a ``NamedTuple`` registered under its own kind.
+Its fields are encoded as a msgpack array, so a newer sender may append fields; an
+older receiver ignores them.
 """
 
 from __future__ import annotations
@@ -21,23 +22,32 @@
 
 
 class Registry(NamedTuple):
-    """The message types one channel carries, by kind (0 to 65535)."""
+    """The message types that one channel carries.
+
+    Attributes:
+        types: Message type by kind; a kind is a number from 0 to 65535.
+        kinds: Kind by message type.
+    """
 
     types: dict[int, type]
     kinds: dict[type, int]
 
     def encode(self, message: Any) -> bytes:
-        """Return a message as bytes, header first."""
+        """Encode a message as a header followed by a msgpack body."""
         kind = self.kinds[type(message)]
         header = bytes((PROTOCOL_VERSION, kind >> 8, kind & 0xFF))
         return header + _encoder.encode(message)
 
     def decode(self, data: bytes) -> Result[Any, Problem]:
-        """Return the message in some bytes, or why there is none."""
+        """Decode a message, or return the problem that makes it invalid."""
         if len(data) < HEADER_BYTES:
-            return Error(Problem("message-short", f"message of {len(data)} bytes"))
+            return Error(
+                Problem("message-short", f"message of {len(data)} bytes is too short")
+            )
         if data[0] != PROTOCOL_VERSION:
-            return Error(Problem("message-version", f"protocol version {data[0]}"))
+            return Error(
+                Problem("message-version", f"unsupported protocol version {data[0]}")
+            )
         kind = data[1] << 8 | data[2]
         message_type = self.types.get(kind)
         if message_type is None:
@@ -46,15 +56,15 @@
 
 
 def registry(*tables: dict[int, type]) -> Registry:
-    """Return the registry of some tables of message types by kind.
+    """Build a registry from tables that map kinds to message types.
 
     Raises:
-        ValueError: Two tables give one kind, or one type, twice.
+        ValueError: A kind or a message type occurs more than once.
     """
     types = {kind: message for table in tables for kind, message in table.items()}
     total = sum(len(table) for table in tables)
     if len(types) < total or len(set(types.values())) < total:
-        raise ValueError("two message types share a kind, or one has two")
+        raise ValueError("two message types share a kind, or one type has two kinds")
     return Registry(types, {message: kind for kind, message in types.items()})
 
 
--- a/libs/core/src/kumquatmux_core/decisions.py
+++ b/libs/core/src/kumquatmux_core/decisions.py
@@ -1,4 +1,4 @@
-"""One log line for each routing or placement decision."""
+"""Logging of routing and placement decisions, one line for each decision."""
 
 from __future__ import annotations
 
@@ -7,18 +7,19 @@
 from typing import Any
 
 Sink = Callable[[str, dict[str, Any]], None]
-"""Takes the name of a decision and its fields."""
+"""Function that receives the event name and the fields of each logged decision."""
 
 _state: dict[str, Any] = {"json": False, "enabled": True, "sink": None}
 
 
 def configure(*, as_json: bool, enabled: bool = True, sink: Sink | None = None) -> None:
-    """Choose the form of decision lines for this process.
+    """Configure the logging of decisions in this process.
 
     Args:
-        as_json: Whether a line is a JSON object, with the usual sink.
-        enabled: Whether decisions are logged at all.
-        sink: What takes them instead of the process's absl log.
+        as_json: Whether the absl log receives JSON objects instead of ``key=value``
+            lines. A sink receives unformatted fields in either case.
+        enabled: Whether decisions are logged.
+        sink: Function that receives the decisions instead of the absl log.
     """
     _state["json"] = as_json
     _state["enabled"] = enabled
@@ -26,7 +27,7 @@
 
 
 def render(event: str, fields: dict[str, Any], *, as_json: bool = False) -> str:
-    """Return one decision as ``event key=value ...`` or as a JSON object."""
+    """Format one decision as ``event key=value ...`` or as a JSON object."""
     if as_json:
         return json.dumps({"event": event, **fields}, default=str)
     pairs = " ".join(f"{key}={_value(value)}" for key, value in fields.items())
@@ -34,7 +35,7 @@
 
 
 def log(event: str, **fields: Any) -> None:
-    """Log one decision at info level."""
+    """Log one decision, to the sink if one is set, else to absl at info level."""
     if not _state["enabled"]:
         return
     sink = _state["sink"]
@@ -45,7 +46,7 @@
 
 
 def _log_with_absl(event: str, fields: dict[str, Any]) -> None:
-    # Imported here because processes with a sink of their own must start fast.
+    # Imported here so that processes that set a sink start faster.
     from absl import logging
 
     logging.info("%s", render(event, fields, as_json=_state["json"]))
--- a/libs/core/src/kumquatmux_core/identity.py
+++ b/libs/core/src/kumquatmux_core/identity.py
@@ -1,4 +1,4 @@
-"""Names of the things a message can speak of."""
+"""Identifiers and addresses of VMs, zones, services, backend servers and flows."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from typing import NamedTuple, NewType
 
 VmId = NewType("VmId", str)
-"""The name of one VM of the system, unique in the deployment."""
+"""The name of a load balancer VM, unique in the deployment."""
 
 ZoneName = NewType("ZoneName", str)
 """The name of an availability zone."""
@@ -20,18 +20,18 @@
 FlowKey = NewType("FlowKey", bytes)
 """13 bytes: protocol, caller IP, service IP, caller port, service port, big endian.
 
-The last 12 bytes stand in this order in a packet from a caller.
+The last 12 bytes have the same order as in the headers of a caller's packet.
 """
 
 Address = NewType("Address", bytes)
-"""6 bytes: IPv4 number and port, big endian, as they stand in a packet."""
+"""6 bytes: IPv4 address and port, big endian, as in packet headers."""
 
 
 class Endpoint(NamedTuple):
-    """An IPv4 number and a port.
+    """An IPv4 address and a port.
 
     Attributes:
-        ip: Dotted IPv4 number.
+        ip: IPv4 address in dotted-decimal notation.
         port: Port, 0 to 65535.
     """
 
@@ -44,25 +44,26 @@
 
     @property
     def packed(self) -> Address:
-        """The endpoint as 6 bytes."""
+        """The endpoint in its 6-byte form."""
         return Address(ipaddress.IPv4Address(self.ip).packed + self.port.to_bytes(2))
 
 
 def unpack_endpoint(address: Address) -> Endpoint:
-    """Return the endpoint that 6 bytes stand for."""
+    """Convert a 6-byte address to an endpoint."""
     number = str(ipaddress.IPv4Address(address[:4]))
     return Endpoint(number, int.from_bytes(address[4:]))
 
 
 class Vm(NamedTuple):
-    """One VM of the system as its peers know it.
+    """The name, zone and endpoints of a load balancer VM.
 
     Attributes:
-        vm: Its name.
-        zone: Its availability zone.
+        vm: Name of the VM.
+        zone: Availability zone of the VM.
         packets: UDP endpoint for packets from the fabric and from peers.
         control: TCP endpoint for messages between the system's processes.
-        incarnation: Grows at each start, so that an old process is told apart.
+        incarnation: Number that grows at each start of the VM's process, so that peers
+            can tell the current process from an earlier one.
     """
 
     vm: VmId
--- a/libs/core/src/kumquatmux_core/latencies.py
+++ b/libs/core/src/kumquatmux_core/latencies.py
@@ -1,4 +1,4 @@
-"""Histograms of durations."""
+"""Latency histograms."""
 
 from __future__ import annotations
 
@@ -10,13 +10,20 @@
 
 
 class Latencies:
-    """Histograms by name, in microseconds."""
+    """Latency histograms in microseconds, by name.
+
+    Attributes:
+        histograms: Histogram by name; the first recorded value creates it.
+    """
 
     def __init__(self) -> None:
         self.histograms: dict[str, HdrHistogram] = {}
 
     def record(self, name: str, seconds: float) -> None:
-        """Count one duration."""
+        """Record one duration in the named histogram, creating it if necessary.
+
+        Durations outside 1 microsecond to 60 seconds are clamped to this range.
+        """
         histogram = self.histograms.get(name)
         if histogram is None:
             histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -1,4 +1,4 @@
-"""Structured lines on a stream: bounded, limited by kind and never blocking."""
+"""Non-blocking writer of JSON log lines, with a bounded buffer and rate limits."""
 
 from __future__ import annotations
 
@@ -10,12 +10,13 @@
 
 
 class LineSettings(NamedTuple):
-    """How much is written.
+    """Output file descriptor and limits of a line writer.
 
     Attributes:
-        file: Descriptor that is written to.
-        waiting_lines: Lines kept while the stream takes none.
-        lines_per_s: Lines of one kind a second; more are counted instead.
+        file: File descriptor to write to.
+        waiting_lines: Maximum number of buffered lines.
+        lines_per_s: Maximum number of lines per second for one event name. Further
+            lines are dropped and counted.
     """
 
     file: int = 1
@@ -24,12 +25,20 @@
 
 
 class LineWriter:
-    """Collects lines and writes them in batches.
+    """Buffers JSON log lines and writes them to a file descriptor in batches.
 
     Attributes:
-        vm: Name of this VM, on each line.
-        dropped: Lines not written, by kind.
-        written: Lines written so far.
+        settings: Output file descriptor and limits.
+        vm: Name of this VM, included in each line.
+        waiting: Encoded lines in the buffer.
+        rest: Bytes of earlier batches that the stream has not yet accepted.
+        dropped: Number of dropped lines by event name. Stream errors are counted
+            here as ``blocking-stream``, ``stream-failed`` and ``stream-slow``.
+        told: Values of ``dropped`` when they were last reported.
+        written: Number of lines passed to a write.
+        in_second: Number of lines added in the current second, by event name.
+        second: Current whole second of the monotonic clock.
+        now: Time of the last tick, in monotonic seconds.
     """
 
     def __init__(self, settings: LineSettings, vm: str) -> None:
@@ -49,7 +58,7 @@
             self.dropped["blocking-stream"] += 1
 
     def tick(self, now: float) -> None:
-        """Take the time, in steady seconds, and write what waits."""
+        """Set the current time, in monotonic seconds, and write buffered lines."""
         self.now = now
         if int(now) != self.second:
             self.second = int(now)
@@ -58,7 +67,7 @@
         self.flush()
 
     def put(self, event: str, fields: dict[str, Any]) -> None:
-        """Add a line, or count it where there are too many."""
+        """Buffer a line, or drop and count it if a limit is reached."""
         is_full = len(self.waiting) >= self.settings.waiting_lines
         if is_full or self.in_second[event] >= self.settings.lines_per_s:
             self.dropped[event] += 1
@@ -69,7 +78,7 @@
         self.waiting.append(msgspec.json.encode(line) + b"\n")
 
     def flush(self) -> None:
-        """Write as much as the stream takes now."""
+        """Write as many buffered bytes as the stream accepts without blocking."""
         if not self.waiting and not self.rest:
             return
         batch = self.rest + b"".join(self.waiting)
--- a/libs/core/src/kumquatmux_core/problems.py
+++ b/libs/core/src/kumquatmux_core/problems.py
@@ -1,4 +1,4 @@
-"""Errors as values: what went wrong, in words an operator can act on."""
+"""Errors that are returned as values, with a code and a message for operators."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 
 
 class Problem(NamedTuple):
-    """One refusal or fault, carried in the error side of a ``Result``.
+    """An error or a refused request, returned as the error of a ``Result``.
 
     Attributes:
-        code: Stable identifier in kebab case, for programs.
-        detail: One plain sentence, for people.
-        subject: Key, file or name the problem is about; empty if none.
+        code: Stable error code in kebab case, for programs.
+        detail: Error message for people.
+        subject: Key, file or name that the error concerns, or an empty string.
     """
 
     code: str
@@ -19,7 +19,7 @@
     subject: str = ""
 
     def __str__(self) -> str:
-        """Return the problem as one line."""
+        """Format the problem as one line."""
         if self.subject:
             return f"{self.subject}: {self.detail} [{self.code}]"
         return f"{self.detail} [{self.code}]"
--- a/libs/core/src/kumquatmux_core/rendezvous.py
+++ b/libs/core/src/kumquatmux_core/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: the same ranking on every VM that knows the same members."""
+"""Rendezvous hashing: VMs with the same member set compute the same ranking."""
 
 from __future__ import annotations
 
@@ -8,23 +8,23 @@
 
 
 def weight(key: bytes, member: str) -> int:
-    """Return the 64-bit weight of a member for a key."""
+    """Return the 64-bit hash weight of a member for a key."""
     return xxhash.xxh3_64_intdigest(member.encode(), seed=xxhash.xxh3_64_intdigest(key))
 
 
 def rank(key: bytes, members: Iterable[str]) -> list[str]:
-    """Return the members from the first choice for a key to the last.
+    """Return the members in descending order of preference for a key.
 
     Args:
-        key: What is to be placed.
+        key: Key to assign to a member.
         members: Names of the members, in any order.
 
     Returns:
-        The members by falling weight; equal weights are ordered by name.
+        The members by descending weight; equal weights are ordered by name.
     """
     return sorted(members, key=lambda member: (-weight(key, member), member))
 
 
 def first(key: bytes, members: Iterable[str]) -> str | None:
-    """Return the first choice for a key, or None without members."""
+    """Return the highest-ranked member for a key, or None if there are no members."""
     return min(members, key=lambda member: (-weight(key, member), member), default=None)
--- a/libs/core/src/kumquatmux_core/segments.py
+++ b/libs/core/src/kumquatmux_core/segments.py
@@ -1,4 +1,4 @@
-"""What the decisions need to know of one packet."""
+"""Header fields of one packet that routing decisions need."""
 
 from __future__ import annotations
 
@@ -16,15 +16,15 @@
 
 
 class Segment(NamedTuple):
-    """A TCP segment or UDP datagram of one flow, with the packet it came in.
+    """A TCP segment or UDP datagram of one flow, with its IPv4 packet.
 
     Attributes:
-        key: Flow the packet belongs to, always seen from the caller's side.
+        key: Key of the packet's flow, the same in both directions.
         flags: TCP flags, 0 for UDP.
         seq: TCP sequence number, 0 for UDP.
         ack: TCP acknowledgement number, 0 for UDP.
-        payload_length: Bytes after the TCP or UDP header.
-        packet: The whole IPv4 packet, opaque to the decisions.
+        payload_length: Number of bytes after the TCP or UDP header.
+        packet: The whole IPv4 packet; routing decisions do not read it.
     """
 
     key: FlowKey
@@ -41,5 +41,5 @@
 
     @property
     def opens(self) -> bool:
-        """Whether this is the first segment of a TCP handshake."""
+        """Whether this is the initial SYN of a TCP handshake."""
         return self.flags & (FLAG_SYN | FLAG_ACK | FLAG_RST) == FLAG_SYN
--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -57,5 +57,5 @@
 def test_two_types_cannot_share_a_kind():
     with pytest.raises(ValueError, match="share a kind"):
         registry({1: Ping}, {1: PingLater})
-    with pytest.raises(ValueError, match="one has two"):
+    with pytest.raises(ValueError, match="one type has two kinds"):
         registry({1: Ping}, {2: Ping})
