Reword the texts of libs/packets

Doc comments and problem details were figurative or elliptic; they now use the usual technical terms of packet processing. Behaviour is unchanged.

--- a/libs/packets/src/kumquatmux_packets/__init__.py
+++ b/libs/packets/src/kumquatmux_packets/__init__.py
@@ -1,3 +1,3 @@
-"""Fixed-offset reading and rewriting of IPv4 packets carried in UDP datagrams."""
+"""Parsing and rewriting of IPv4 packets carried in UDP datagrams."""
 
 from __future__ import annotations
--- a/libs/packets/src/kumquatmux_packets/answers.py
+++ b/libs/packets/src/kumquatmux_packets/answers.py
@@ -1,4 +1,4 @@
-"""Packets the system makes itself: resets, refusals and keepalive probes."""
+"""Packets that the load balancer generates: resets, refusals and keepalive probes."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 SEQ_MASK = 0xFFFFFFFF
 TIME_TO_LIVE = 64
 QUOTED_BYTES = 28
-"""ICMP quotes the IP header and eight bytes of the refused packet (RFC 792)."""
+"""ICMP errors quote the IP header and the next eight bytes (RFC 792)."""
 
 
 def refuse_caller(segment: Segment) -> bytes:
-    """Return the answer that refuses a caller's packet.
+    """Build the packet that refuses a caller's packet.
 
-    A TCP segment gets a reset whose sequence number the caller accepts (RFC 9293,
-    section 3.10.7.1), a datagram gets ICMP port unreachable.
+    The result is a TCP reset whose sequence number the caller accepts (RFC 9293,
+    section 3.10.7.1), or ICMP port unreachable for a UDP datagram.
     """
     if segment.is_tcp:
         return _refuse_tcp(segment)
@@ -25,7 +25,7 @@
 
 
 def reset_server(key: FlowKey, server: Address, seq: int) -> bytes:
-    """Return a reset to the server in the caller's name."""
+    """Build a TCP reset to the backend server, with the caller's source address."""
     return _tcp(
         source=caller_address(key),
         target=server,
@@ -36,7 +36,10 @@
 
 
 def probe_server(key: FlowKey, server: Address, seq: int, ack: int) -> bytes:
-    """Return a keepalive probe to the server in the caller's name."""
+    """Build a TCP keepalive probe to the backend server.
+
+    Its source address is the caller's address.
+    """
     return _tcp(
         source=caller_address(key),
         target=server,
@@ -47,7 +50,7 @@
 
 
 def probe_caller(key: FlowKey, seq: int, ack: int) -> bytes:
-    """Return a keepalive probe to the caller in the service's name."""
+    """Build a TCP keepalive probe to the caller, with the service's source address."""
     return _tcp(
         source=service_address(key),
         target=caller_address(key),
@@ -58,17 +61,17 @@
 
 
 def caller_address(key: FlowKey) -> Address:
-    """Return the caller's address of a flow."""
+    """Return the caller's IP address and port from a flow key."""
     return Address(key[1:5] + key[9:11])
 
 
 def service_address(key: FlowKey) -> Address:
-    """Return the service's address of a flow."""
+    """Return the service's IP address and port from a flow key."""
     return Address(key[5:9] + key[11:13])
 
 
 def target_of(key: FlowKey) -> bytes:
-    """Return protocol and service address of a flow, 7 bytes."""
+    """Return the protocol and service address of a flow key, 7 bytes."""
     return key[:1] + service_address(key)
 
 
--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -1,8 +1,9 @@
-"""The small header of a packet that one VM passes to another.
+"""Encapsulation of packets that one load balancer VM forwards to another.
 
-A packet from the fabric begins with the IPv4 version in its high four bits; an envelope
-begins with a byte that no IPv4 packet begins with. A short keyed digest over the header
-and the flow's fields shows that a VM of this deployment made it.
+The first byte of an IPv4 packet has the IP version in its high four bits. An envelope
+starts with a byte that no IPv4 packet starts with. An 8-byte keyed digest over the
+header, the metadata and the first 40 bytes of the packet authenticates the envelope
+as made by a VM of this deployment.
 """
 
 from __future__ import annotations
@@ -30,19 +31,24 @@
 
 
 class Passed(NamedTuple):
-    """An envelope opened."""
+    """The contents of a decoded envelope.
+
+    Attributes:
+        passing: Metadata from the forwarding VM.
+        packet: The IPv4 packet.
+    """
 
     passing: Passing
     packet: bytes
 
 
 def seal(passing: Passing, packet: bytes, *, key: bytes) -> bytes:
-    """Return a packet in an envelope.
+    """Encapsulate a packet in an authenticated envelope.
 
     Args:
-        passing: What travels with it.
+        passing: Metadata for the receiving VM.
         packet: The IPv4 packet.
-        key: Secret shared by the VMs of the deployment, 16 to 32 bytes.
+        key: Secret key shared by the VMs of the deployment, 16 to 32 bytes.
     """
     fields = _encoder.encode(passing)
     header = HEADER.pack(MARK, VERSION, len(fields))
@@ -51,18 +57,26 @@
 
 
 def unseal(data: bytes, *, key: bytes) -> Result[Passed, Problem]:
-    """Return what an envelope carries, or why it is refused."""
+    """Authenticate and decode an envelope, or return why it is refused."""
     if len(data) < FIXED_BYTES or data[0] != MARK:
-        return Error(Problem("envelope-short", f"envelope of {len(data)} bytes"))
+        return Error(
+            Problem("envelope-short", f"envelope of {len(data)} bytes is malformed")
+        )
     _, version, fields_bytes = HEADER.unpack_from(data)
     if version != VERSION:
-        return Error(Problem("envelope-version", f"envelope version {version}"))
+        return Error(
+            Problem("envelope-version", f"unsupported envelope version {version}")
+        )
     packet_at = FIXED_BYTES + fields_bytes
     fields = data[FIXED_BYTES:packet_at]
     packet = data[packet_at:]
     digest = _digest(data[: HEADER.size], fields, packet, key)
     if not hmac.compare_digest(digest, data[HEADER.size : FIXED_BYTES]):
-        return Error(Problem("envelope-digest", "made with another key"))
+        return Error(
+            Problem(
+                "envelope-digest", "digest mismatch: data changed or another key used"
+            )
+        )
     try:
         return Ok(Passed(_decoder.decode(fields), packet))
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
--- a/libs/packets/src/kumquatmux_packets/layout.py
+++ b/libs/packets/src/kumquatmux_packets/layout.py
@@ -1,7 +1,7 @@
-"""Byte offsets of the fields that are read or rewritten in place.
+"""Byte offsets of IPv4, TCP and UDP header fields, from the start of the packet.
 
-Only IPv4 headers without options are carried, so every offset is fixed. Sources: RFC
-791 (IPv4), RFC 9293 (TCP), RFC 768 (UDP).
+Only IPv4 headers without options are supported, so every offset is fixed. Sources:
+RFC 791 (IPv4), RFC 9293 (TCP), RFC 768 (UDP).
 """
 
 from __future__ import annotations
@@ -27,4 +27,4 @@
 TCP_FLAGS = 33
 TCP_CHECKSUM = 36
 UDP_CHECKSUM = 26
-"""A UDP checksum of zero means that the sender made none."""
+"""A UDP checksum of zero means that the sender computed none."""
--- a/libs/packets/src/kumquatmux_packets/reading.py
+++ b/libs/packets/src/kumquatmux_packets/reading.py
@@ -1,4 +1,4 @@
-"""Packets read into segments, and every malformed one refused with a reason."""
+"""Validation of IPv4 packets and parsing into segments."""
 
 from __future__ import annotations
 
@@ -11,20 +11,24 @@
 
 
 def check(packet: bytes) -> Problem | None:
-    """Return what is wrong with an IPv4 packet, or None when it can be carried."""
+    """Return why an IPv4 packet is malformed or unsupported, or None if it is valid."""
     if len(packet) < layout.IP_HEADER_BYTES + layout.UDP_HEADER_BYTES:
         return Problem("packet-short", f"packet of {len(packet)} bytes")
     if packet[0] != layout.VERSION_AND_LENGTH:
-        return Problem("packet-version", "not IPv4 without options")
+        return Problem("packet-version", "only IPv4 without options is supported")
     if int.from_bytes(packet[2:4]) != len(packet):
-        return Problem("packet-length", "total length differs from the datagram")
+        return Problem(
+            "packet-length", "IP total length differs from the datagram length"
+        )
     if int.from_bytes(packet[6:8]) & layout.FRAGMENT_MASK:
-        return Problem("packet-fragment", "fragments are not carried")
+        return Problem("packet-fragment", "IP fragments are not supported")
     if packet[layout.PROTOCOL] == PROTOCOL_TCP:
         return _check_tcp(packet)
     if packet[layout.PROTOCOL] == PROTOCOL_UDP:
         return _check_udp(packet)
-    return Problem("packet-protocol", f"protocol {packet[layout.PROTOCOL]}")
+    return Problem(
+        "packet-protocol", f"unsupported IP protocol {packet[layout.PROTOCOL]}"
+    )
 
 
 def _check_tcp(packet: bytes) -> Problem | None:
@@ -34,18 +38,18 @@
     if header_bytes < layout.TCP_HEADER_BYTES:
         return Problem("packet-tcp-offset", f"TCP header of {header_bytes} bytes")
     if layout.IP_HEADER_BYTES + header_bytes > len(packet):
-        return Problem("packet-tcp-offset", "TCP header runs past the packet")
+        return Problem("packet-tcp-offset", "TCP header extends beyond the packet")
     return None
 
 
 def _check_udp(packet: bytes) -> Problem | None:
     if int.from_bytes(packet[24:26]) != len(packet) - layout.IP_HEADER_BYTES:
-        return Problem("packet-udp-length", "UDP length differs from the packet")
+        return Problem("packet-udp-length", "UDP length differs from the packet length")
     return None
 
 
 def caller_key(packet: bytes) -> FlowKey:
-    """Return the flow key of a checked packet from a caller."""
+    """Return the flow key of a valid packet from a caller."""
     return FlowKey(
         packet[layout.PROTOCOL : layout.PROTOCOL + 1]
         + packet[layout.SOURCE_IP : layout.KEY_END]
@@ -53,7 +57,7 @@
 
 
 def reply_key(packet: bytes, service: Address) -> FlowKey:
-    """Return the flow key of a checked packet from a server of a service."""
+    """Return the flow key of a valid packet from a backend server of a service."""
     return FlowKey(
         packet[layout.PROTOCOL : layout.PROTOCOL + 1]
         + packet[layout.TARGET_IP : layout.SOURCE_PORT]
@@ -64,7 +68,7 @@
 
 
 def source_address(packet: bytes) -> Address:
-    """Return the source IP number and port of a checked packet."""
+    """Return the source IP address and port of a valid packet."""
     return Address(
         packet[layout.SOURCE_IP : layout.TARGET_IP]
         + packet[layout.SOURCE_PORT : layout.TARGET_PORT]
@@ -72,7 +76,7 @@
 
 
 def target_address(packet: bytes) -> Address:
-    """Return the target IP number and port of a checked packet."""
+    """Return the destination IP address and port of a valid packet."""
     return Address(
         packet[layout.TARGET_IP : layout.SOURCE_PORT]
         + packet[layout.TARGET_PORT : layout.KEY_END]
@@ -80,7 +84,7 @@
 
 
 def segment(key: FlowKey, packet: bytes) -> Segment:
-    """Return what the decisions need of a checked packet."""
+    """Build the segment of a valid packet that belongs to the given flow."""
     if packet[layout.PROTOCOL] != PROTOCOL_TCP:
         payload_length = len(packet) - layout.IP_HEADER_BYTES - layout.UDP_HEADER_BYTES
         return Segment(key, 0, 0, 0, payload_length, packet)
@@ -95,7 +99,7 @@
 
 
 def read_caller(packet: bytes) -> Result[Segment, Problem]:
-    """Return the segment of a packet from a caller, or why it is refused."""
+    """Validate and parse a packet from a caller."""
     problem = check(packet)
     if problem is not None:
         return Error(problem)
@@ -103,7 +107,10 @@
 
 
 def read_reply(packet: bytes, service: Address) -> Result[Segment, Problem]:
-    """Return the segment of a packet from a server, seen from the caller's side."""
+    """Validate and parse a reply from a backend server of the given service.
+
+    The flow key of the segment is that of the caller's packets.
+    """
     problem = check(packet)
     if problem is not None:
         return Error(problem)
--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -1,4 +1,4 @@
-"""Addresses rewritten in place, with checksums adjusted by differences (RFC 1624)."""
+"""Rewriting of packet addresses with incremental checksum updates (RFC 1624)."""
 
 from __future__ import annotations
 
@@ -12,13 +12,14 @@
 
 
 class Rewrite(NamedTuple):
-    """One address replaced by another, with what it adds to each checksum.
+    """A new address and the checksum differences that it causes.
 
     Attributes:
-        ip: The new IP number, 4 bytes.
+        ip: The new IP address, 4 bytes.
         port: The new port, 2 bytes.
-        ip_difference: What the IP header's one's complement sum gains.
-        transport_difference: What the TCP or UDP sum gains.
+        ip_difference: Amount to add to the one's complement sum of the IP header.
+        transport_difference: Amount to add to the one's complement sum of the TCP
+            segment or UDP datagram.
     """
 
     ip: bytes
@@ -28,7 +29,7 @@
 
 
 def plan_rewrite(old: Address, new: Address) -> Rewrite:
-    """Return the rewrite from one address to another."""
+    """Compute the rewrite that replaces one address with another."""
     ip_difference = _difference(old[:4], new[:4])
     port_difference = _difference(old[4:], new[4:])
     return Rewrite(
@@ -40,7 +41,7 @@
 
 
 def rewrite_target(packet: bytes, rewrite: Rewrite) -> bytearray:
-    """Return a packet with its target replaced."""
+    """Return a copy of a packet with its destination IP address and port replaced."""
     changed = bytearray(packet)
     changed[16:20] = rewrite.ip
     changed[22:24] = rewrite.port
@@ -49,7 +50,7 @@
 
 
 def rewrite_source(packet: bytes, rewrite: Rewrite) -> bytearray:
-    """Return a packet with its source replaced."""
+    """Return a copy of a packet with its source IP address and port replaced."""
     changed = bytearray(packet)
     changed[12:16] = rewrite.ip
     changed[20:22] = rewrite.port
--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -45,7 +45,7 @@
 
 
 def checksums_hold(packet):
-    """Tell whether dpkt, given no checksums, computes the ones in the packet."""
+    """Return whether the packet's checksums equal those that dpkt computes."""
     fresh = dpkt.ip.IP(packet)
     fresh.sum = 0
     fresh.data.sum = 0
