--- a/libs/core/src/kumquatmux_core/decisions.py
+++ b/libs/core/src/kumquatmux_core/decisions.py
@@ -6,13 +6,15 @@
 from collections.abc import Callable
 from typing import Any
 
-Sink = Callable[[str, dict[str, Any]], None]
+DecisionSink = Callable[[str, dict[str, Any]], None]
 """Function that receives the event name and the fields of each logged decision."""
 
 _state: dict[str, Any] = {"json": False, "enabled": True, "sink": None}
 
 
-def configure(*, as_json: bool, enabled: bool = True, sink: Sink | None = None) -> None:
+def configure(
+    *, as_json: bool, enabled: bool = True, sink: DecisionSink | None = None
+) -> None:
     """Configure the logging of decisions in this process.
 
     Args:
