--- a/libs/core/src/kumquatmux_core/decisions.py
+++ b/libs/core/src/kumquatmux_core/decisions.py
@@ -28,7 +28,9 @@
     _state["sink"] = sink
 
 
-def render(event: str, fields: dict[str, Any], *, as_json: bool = False) -> str:
+def format_decision(
+    event: str, fields: dict[str, Any], *, as_json: bool = False
+) -> str:
     """Format one decision as ``event key=value ...`` or as a JSON object."""
     if as_json:
         return json.dumps({"event": event, **fields}, default=str)
@@ -51,7 +53,7 @@
     # Imported here so that processes that set a sink start faster.
     from absl import logging
 
-    logging.info("%s", render(event, fields, as_json=_state["json"]))
+    logging.info("%s", format_decision(event, fields, as_json=_state["json"]))
 
 
 def _value(value: Any) -> str:
