Rename _state to _config

The dictionary holds the logging configuration of the process.

Rename: libs/core/src/kumquatmux_core/decisions.py _state _config

--- a/libs/core/src/kumquatmux_core/decisions.py
+++ b/libs/core/src/kumquatmux_core/decisions.py
@@ -9,7 +9,7 @@
 DecisionSink = Callable[[str, dict[str, Any]], None]
 """Function that receives the event name and the fields of each logged decision."""
 
-_state: dict[str, Any] = {"json": False, "enabled": True, "sink": None}
+_config: dict[str, Any] = {"json": False, "enabled": True, "sink": None}
 
 
 def configure(
@@ -23,9 +23,9 @@
         enabled: Whether decisions are logged.
         sink: Function that receives the decisions instead of the absl log.
     """
-    _state["json"] = as_json
-    _state["enabled"] = enabled
-    _state["sink"] = sink
+    _config["json"] = as_json
+    _config["enabled"] = enabled
+    _config["sink"] = sink
 
 
 def format_decision(
@@ -40,9 +40,9 @@
 
 def log(event: str, **fields: Any) -> None:
     """Log one decision, to the sink if one is set, else to absl at info level."""
-    if not _state["enabled"]:
+    if not _config["enabled"]:
         return
-    sink = _state["sink"]
+    sink = _config["sink"]
     if sink is None:
         _log_with_absl(event, fields)
     else:
@@ -53,7 +53,7 @@
     # Imported here so that processes that set a sink start faster.
     from absl import logging
 
-    logging.info("%s", format_decision(event, fields, as_json=_state["json"]))
+    logging.info("%s", format_decision(event, fields, as_json=_config["json"]))
 
 
 def _value(value: Any) -> str:
