--- a/libs/core/src/kumquatmux_core/decisions.py
+++ b/libs/core/src/kumquatmux_core/decisions.py
@@ -34,7 +34,7 @@
     """Format one decision as ``event key=value ...`` or as a JSON object."""
     if as_json:
         return json.dumps({"event": event, **fields}, default=str)
-    pairs = " ".join(f"{key}={_value(value)}" for key, value in fields.items())
+    pairs = " ".join(f"{key}={_format_value(value)}" for key, value in fields.items())
     return f"{event} {pairs}"
 
 
@@ -56,7 +56,7 @@
     logging.info("%s", format_decision(event, fields, as_json=_config["json"]))
 
 
-def _value(value: Any) -> str:
+def _format_value(value: Any) -> str:
     text = str(value)
     if text == "" or any(character in text for character in ' ="\n'):
         return json.dumps(text)
