--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -63,7 +63,7 @@
         if int(now) != self.second:
             self.second = int(now)
             self.in_second.clear()
-            self._tell_dropped()
+            self._report_dropped()
         self.flush()
 
     def put(self, event: str, fields: dict[str, Any]) -> None:
@@ -97,7 +97,7 @@
             self.dropped["stream-slow"] += self.rest.count(b"\n")
             self.rest = b""
 
-    def _tell_dropped(self) -> None:
+    def _report_dropped(self) -> None:
         news = self.dropped - self.told
         if news:
             self.told = self.dropped.copy()
