--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -74,7 +74,7 @@
             return
         self.in_second[event] += 1
         line = {"t": round(self.now, 3), "event": event, "vm": self.vm}
-        line.update((key, _plain(value)) for key, value in fields.items())
+        line.update((key, _json_value(value)) for key, value in fields.items())
         self.waiting.append(msgspec.json.encode(line) + b"\n")
 
     def flush(self) -> None:
@@ -104,7 +104,7 @@
             self.put("lines-dropped", {"counts": dict(news)})
 
 
-def _plain(value: Any) -> Any:
+def _json_value(value: Any) -> Any:
     if value is None or isinstance(value, int | float | dict):
         return value
     return str(value)
