Rename read_caller to parse_caller_packet

The function parses a packet from a caller.

Rename: libs/packets/src/kumquatmux_packets/reading.py read_caller parse_caller_packet

--- a/libs/packets/src/kumquatmux_packets/reading.py
+++ b/libs/packets/src/kumquatmux_packets/reading.py
@@ -98,7 +98,7 @@
     )
 
 
-def read_caller(packet: bytes) -> Result[Segment, Problem]:
+def parse_caller_packet(packet: bytes) -> Result[Segment, Problem]:
     """Validate and parse a packet from a caller."""
     problem = check(packet)
     if problem is not None:
--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -74,7 +74,7 @@
 
 
 def test_both_directions_give_one_key():
-    there = reading.read_caller(tcp_packet(CALLER, SERVICE, payload=b"abc")).ok
+    there = reading.parse_caller_packet(tcp_packet(CALLER, SERVICE, payload=b"abc")).ok
     back = reading.read_reply(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
     assert there.key == back.key
     assert (there.seq, there.ack, there.payload_length) == (1, 2, 3)
@@ -105,17 +105,17 @@
     ],
 )
 def test_malformed_packets_are_named(packet, code):
-    assert reading.read_caller(packet).error.code == code
+    assert reading.parse_caller_packet(packet).error.code == code
 
 
 @given(st.binary(max_size=80))
 def test_no_bytes_crash_the_reader(data):
-    result = reading.read_caller(data)
+    result = reading.parse_caller_packet(data)
     assert result.is_ok() or result.error.code.startswith("packet-")
 
 
 def test_a_refused_syn_gets_a_reset_its_caller_accepts():
-    segment = reading.read_caller(
+    segment = reading.parse_caller_packet(
         tcp_packet(CALLER, SERVICE, flags=FLAG_SYN, seq=0xFFFFFFFF, ack=0)
     ).ok
     reset = dpkt.ip.IP(answers.refuse_caller(segment))
@@ -125,14 +125,14 @@
 
 
 def test_a_refused_segment_gets_a_reset_at_its_acknowledgement():
-    segment = reading.read_caller(tcp_packet(CALLER, SERVICE, ack=77)).ok
+    segment = reading.parse_caller_packet(tcp_packet(CALLER, SERVICE, ack=77)).ok
     reset = dpkt.ip.IP(answers.refuse_caller(segment))
     assert (reset.data.flags, reset.data.seq) == (dpkt.tcp.TH_RST, 77)
 
 
 def test_a_refused_datagram_gets_port_unreachable():
     packet = udp_packet(CALLER, SERVICE, b"hello")
-    answer = dpkt.ip.IP(answers.refuse_caller(reading.read_caller(packet).ok))
+    answer = dpkt.ip.IP(answers.refuse_caller(reading.parse_caller_packet(packet).ok))
     assert (answer.data.type, answer.data.code) == (3, 3)
     assert bytes(answer.data.data.data)[:28] == packet[:28]
 
