--- a/libs/packets/src/kumquatmux_packets/reading.py
+++ b/libs/packets/src/kumquatmux_packets/reading.py
@@ -106,7 +106,7 @@
     return Ok(segment(caller_key(packet), packet))
 
 
-def read_reply(packet: bytes, service: Address) -> Result[Segment, Problem]:
+def parse_reply_packet(packet: bytes, service: Address) -> Result[Segment, Problem]:
     """Validate and parse a reply from a backend server of the given service.
 
     The flow key of the segment is that of the caller's packets.
--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -75,7 +75,7 @@
 
 def test_both_directions_give_one_key():
     there = reading.parse_caller_packet(tcp_packet(CALLER, SERVICE, payload=b"abc")).ok
-    back = reading.read_reply(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
+    back = reading.parse_reply_packet(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
     assert there.key == back.key
     assert (there.seq, there.ack, there.payload_length) == (1, 2, 3)
     assert answers.caller_address(there.key) == CALLER.packed
