--- a/libs/packets/src/kumquatmux_packets/answers.py
+++ b/libs/packets/src/kumquatmux_packets/answers.py
@@ -20,7 +20,7 @@
     section 3.10.7.1), or ICMP port unreachable for a UDP datagram.
     """
     if segment.is_tcp:
-        return _refuse_tcp(segment)
+        return _build_tcp_reset(segment)
     return _refuse_udp(segment)
 
 
@@ -75,7 +75,7 @@
     return key[:1] + service_address(key)
 
 
-def _refuse_tcp(segment: Segment) -> bytes:
+def _build_tcp_reset(segment: Segment) -> bytes:
     if segment.flags & FLAG_ACK:
         flags, seq, ack = dpkt.tcp.TH_RST, segment.ack, 0
     else:
