--- a/libs/packets/src/kumquatmux_packets/answers.py
+++ b/libs/packets/src/kumquatmux_packets/answers.py
@@ -21,7 +21,7 @@
     """
     if segment.is_tcp:
         return _build_tcp_reset(segment)
-    return _refuse_udp(segment)
+    return _build_port_unreachable(segment)
 
 
 def reset_server(key: FlowKey, server: Address, seq: int) -> bytes:
@@ -92,7 +92,7 @@
     )
 
 
-def _refuse_udp(segment: Segment) -> bytes:
+def _build_port_unreachable(segment: Segment) -> bytes:
     quoted = dpkt.icmp.ICMP.Unreach(data=segment.packet[:QUOTED_BYTES])
     icmp = dpkt.icmp.ICMP(
         type=dpkt.icmp.ICMP_UNREACH,
