--- a/libs/packets/src/kumquatmux_packets/answers.py
+++ b/libs/packets/src/kumquatmux_packets/answers.py
@@ -26,7 +26,7 @@
 
 def reset_server(key: FlowKey, server: Address, seq: int) -> bytes:
     """Build a TCP reset to the backend server, with the caller's source address."""
-    return _tcp(
+    return _build_tcp_packet(
         source=caller_address(key),
         target=server,
         flags=dpkt.tcp.TH_RST,
@@ -40,7 +40,7 @@
 
     Its source address is the caller's address.
     """
-    return _tcp(
+    return _build_tcp_packet(
         source=caller_address(key),
         target=server,
         flags=dpkt.tcp.TH_ACK,
@@ -51,7 +51,7 @@
 
 def probe_caller(key: FlowKey, seq: int, ack: int) -> bytes:
     """Build a TCP keepalive probe to the caller, with the service's source address."""
-    return _tcp(
+    return _build_tcp_packet(
         source=service_address(key),
         target=caller_address(key),
         flags=dpkt.tcp.TH_ACK,
@@ -83,7 +83,7 @@
         length += bool(segment.flags & FLAG_SYN) + bool(segment.flags & FLAG_FIN)
         flags = dpkt.tcp.TH_RST | dpkt.tcp.TH_ACK
         seq, ack = 0, segment.seq + length & SEQ_MASK
-    return _tcp(
+    return _build_tcp_packet(
         source=service_address(segment.key),
         target=caller_address(segment.key),
         flags=flags,
@@ -110,7 +110,9 @@
     return bytes(packet)
 
 
-def _tcp(*, source: Address, target: Address, flags: int, seq: int, ack: int) -> bytes:
+def _build_tcp_packet(
+    *, source: Address, target: Address, flags: int, seq: int, ack: int
+) -> bytes:
     tcp = dpkt.tcp.TCP(
         sport=int.from_bytes(source[4:]),
         dport=int.from_bytes(target[4:]),
