Rename Passed to DecodedEnvelope

The class holds the contents of a decoded envelope.

Rename: libs/packets/src/kumquatmux_packets/envelope.py Passed DecodedEnvelope

--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -30,7 +30,7 @@
 _decoder = msgspec.msgpack.Decoder(Passing)
 
 
-class Passed(NamedTuple):
+class DecodedEnvelope(NamedTuple):
     """The contents of a decoded envelope.
 
     Attributes:
@@ -56,7 +56,7 @@
     return b"".join((header, digest, fields, packet))
 
 
-def unseal(data: bytes, *, key: bytes) -> Result[Passed, Problem]:
+def unseal(data: bytes, *, key: bytes) -> Result[DecodedEnvelope, Problem]:
     """Authenticate and decode an envelope, or return why it is refused."""
     if len(data) < FIXED_BYTES or data[0] != MARK:
         return Error(
@@ -78,7 +78,7 @@
             )
         )
     try:
-        return Ok(Passed(_decoder.decode(fields), packet))
+        return Ok(DecodedEnvelope(_decoder.decode(fields), packet))
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         return Error(Problem("envelope-fields", str(error)))
 
--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -154,7 +154,7 @@
 @given(PASSINGS)
 def test_an_envelope_survives_the_trip(passing):
     opened = envelope.unseal(envelope.seal(passing, GOOD, key=KEY), key=KEY).ok
-    assert opened == envelope.Passed(passing, GOOD)
+    assert opened == envelope.DecodedEnvelope(passing, GOOD)
 
 
 @given(st.integers(0, envelope.FIXED_BYTES + 39), st.integers(1, 255))
