Rename VERSION to ENVELOPE_VERSION

The constant is the version of the envelope format.

Rename: libs/packets/src/kumquatmux_packets/envelope.py VERSION ENVELOPE_VERSION

--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -20,7 +20,7 @@
 from kumquatmux_flows.events import Passing
 
 MARK = 0xC1
-VERSION = 1
+ENVELOPE_VERSION = 1
 DIGEST_BYTES = 8
 AUTHENTICATED_PACKET_BYTES = 40
 HEADER = struct.Struct("!BBH")
@@ -51,7 +51,7 @@
         key: Secret key shared by the VMs of the deployment, 16 to 32 bytes.
     """
     fields = _encoder.encode(passing)
-    header = HEADER.pack(MARK, VERSION, len(fields))
+    header = HEADER.pack(MARK, ENVELOPE_VERSION, len(fields))
     digest = _digest(header, fields, packet, key)
     return b"".join((header, digest, fields, packet))
 
@@ -63,7 +63,7 @@
             Problem("envelope-short", f"envelope of {len(data)} bytes is malformed")
         )
     _, version, fields_bytes = HEADER.unpack_from(data)
-    if version != VERSION:
+    if version != ENVELOPE_VERSION:
         return Error(
             Problem("envelope-version", f"unsupported envelope version {version}")
         )
