--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -24,7 +24,7 @@
 DIGEST_BYTES = 8
 AUTHENTICATED_PACKET_BYTES = 40
 HEADER = struct.Struct("!BBH")
-FIXED_BYTES = HEADER.size + DIGEST_BYTES
+HEADER_AND_DIGEST_BYTES = HEADER.size + DIGEST_BYTES
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Passing)
@@ -58,7 +58,7 @@
 
 def unseal(data: bytes, *, key: bytes) -> Result[DecodedEnvelope, Problem]:
     """Authenticate and decode an envelope, or return why it is refused."""
-    if len(data) < FIXED_BYTES or data[0] != MARK:
+    if len(data) < HEADER_AND_DIGEST_BYTES or data[0] != MARK:
         return Error(
             Problem("envelope-short", f"envelope of {len(data)} bytes is malformed")
         )
@@ -67,11 +67,11 @@
         return Error(
             Problem("envelope-version", f"unsupported envelope version {version}")
         )
-    packet_at = FIXED_BYTES + fields_bytes
-    fields = data[FIXED_BYTES:packet_at]
+    packet_at = HEADER_AND_DIGEST_BYTES + fields_bytes
+    fields = data[HEADER_AND_DIGEST_BYTES:packet_at]
     packet = data[packet_at:]
     digest = _digest(data[: HEADER.size], fields, packet, key)
-    if not hmac.compare_digest(digest, data[HEADER.size : FIXED_BYTES]):
+    if not hmac.compare_digest(digest, data[HEADER.size : HEADER_AND_DIGEST_BYTES]):
         return Error(
             Problem(
                 "envelope-digest", "digest mismatch: data changed or another key used"
--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -157,7 +157,7 @@
     assert opened == envelope.DecodedEnvelope(passing, GOOD)
 
 
-@given(st.integers(0, envelope.FIXED_BYTES + 39), st.integers(1, 255))
+@given(st.integers(0, envelope.HEADER_AND_DIGEST_BYTES + 39), st.integers(1, 255))
 def test_a_changed_envelope_is_refused(at, difference):
     sealed = bytearray(envelope.seal(Passing(Stage.STORE), GOOD, key=KEY))
     sealed[at] ^= difference
