--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -23,8 +23,8 @@
 ENVELOPE_VERSION = 1
 DIGEST_BYTES = 8
 AUTHENTICATED_PACKET_BYTES = 40
-HEADER = struct.Struct("!BBH")
-HEADER_AND_DIGEST_BYTES = HEADER.size + DIGEST_BYTES
+HEADER_STRUCT = struct.Struct("!BBH")
+HEADER_AND_DIGEST_BYTES = HEADER_STRUCT.size + DIGEST_BYTES
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Passing)
@@ -51,7 +51,7 @@
         key: Secret key shared by the VMs of the deployment, 16 to 32 bytes.
     """
     fields = _encoder.encode(passing)
-    header = HEADER.pack(MARK, ENVELOPE_VERSION, len(fields))
+    header = HEADER_STRUCT.pack(MARK, ENVELOPE_VERSION, len(fields))
     digest = _digest(header, fields, packet, key)
     return b"".join((header, digest, fields, packet))
 
@@ -62,7 +62,7 @@
         return Error(
             Problem("envelope-short", f"envelope of {len(data)} bytes is malformed")
         )
-    _, version, fields_bytes = HEADER.unpack_from(data)
+    _, version, fields_bytes = HEADER_STRUCT.unpack_from(data)
     if version != ENVELOPE_VERSION:
         return Error(
             Problem("envelope-version", f"unsupported envelope version {version}")
@@ -70,8 +70,10 @@
     packet_at = HEADER_AND_DIGEST_BYTES + fields_bytes
     fields = data[HEADER_AND_DIGEST_BYTES:packet_at]
     packet = data[packet_at:]
-    digest = _digest(data[: HEADER.size], fields, packet, key)
-    if not hmac.compare_digest(digest, data[HEADER.size : HEADER_AND_DIGEST_BYTES]):
+    digest = _digest(data[: HEADER_STRUCT.size], fields, packet, key)
+    if not hmac.compare_digest(
+        digest, data[HEADER_STRUCT.size : HEADER_AND_DIGEST_BYTES]
+    ):
         return Error(
             Problem(
                 "envelope-digest", "digest mismatch: data changed or another key used"
