Rename _digest to _compute_digest

The function computes the digest.

Rename: libs/packets/src/kumquatmux_packets/envelope.py _digest _compute_digest

--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -52,7 +52,7 @@
     """
     fields = _encoder.encode(passing)
     header = HEADER_STRUCT.pack(MARK, ENVELOPE_VERSION, len(fields))
-    digest = _digest(header, fields, packet, key)
+    digest = _compute_digest(header, fields, packet, key)
     return b"".join((header, digest, fields, packet))
 
 
@@ -70,7 +70,7 @@
     packet_at = HEADER_AND_DIGEST_BYTES + fields_bytes
     fields = data[HEADER_AND_DIGEST_BYTES:packet_at]
     packet = data[packet_at:]
-    digest = _digest(data[: HEADER_STRUCT.size], fields, packet, key)
+    digest = _compute_digest(data[: HEADER_STRUCT.size], fields, packet, key)
     if not hmac.compare_digest(
         digest, data[HEADER_STRUCT.size : HEADER_AND_DIGEST_BYTES]
     ):
@@ -85,6 +85,6 @@
         return Error(Problem("envelope-fields", str(error)))
 
 
-def _digest(header: bytes, fields: bytes, packet: bytes, key: bytes) -> bytes:
+def _compute_digest(header: bytes, fields: bytes, packet: bytes, key: bytes) -> bytes:
     signed = b"".join((header, fields, packet[:AUTHENTICATED_PACKET_BYTES]))
     return hashlib.blake2s(signed, key=key, digest_size=DIGEST_BYTES).digest()
