--- a/libs/packets/src/kumquatmux_packets/reading.py
+++ b/libs/packets/src/kumquatmux_packets/reading.py
@@ -60,7 +60,7 @@
     """Return the flow key of a valid packet from a backend server of a service."""
     return FlowKey(
         packet[layout.PROTOCOL : layout.PROTOCOL + 1]
-        + packet[layout.TARGET_IP : layout.SOURCE_PORT]
+        + packet[layout.DESTINATION_IP : layout.SOURCE_PORT]
         + service[:4]
         + packet[layout.TARGET_PORT : layout.KEY_END]
         + service[4:]
@@ -70,7 +70,7 @@
 def source_address(packet: bytes) -> Address:
     """Return the source IP address and port of a valid packet."""
     return Address(
-        packet[layout.SOURCE_IP : layout.TARGET_IP]
+        packet[layout.SOURCE_IP : layout.DESTINATION_IP]
         + packet[layout.SOURCE_PORT : layout.TARGET_PORT]
     )
 
@@ -78,7 +78,7 @@
 def target_address(packet: bytes) -> Address:
     """Return the destination IP address and port of a valid packet."""
     return Address(
-        packet[layout.TARGET_IP : layout.SOURCE_PORT]
+        packet[layout.DESTINATION_IP : layout.SOURCE_PORT]
         + packet[layout.TARGET_PORT : layout.KEY_END]
     )
 
