--- a/libs/packets/src/kumquatmux_packets/reading.py
+++ b/libs/packets/src/kumquatmux_packets/reading.py
@@ -62,7 +62,7 @@
         packet[layout.PROTOCOL : layout.PROTOCOL + 1]
         + packet[layout.DESTINATION_IP : layout.SOURCE_PORT]
         + service[:4]
-        + packet[layout.TARGET_PORT : layout.KEY_END]
+        + packet[layout.DESTINATION_PORT : layout.KEY_END]
         + service[4:]
     )
 
@@ -71,7 +71,7 @@
     """Return the source IP address and port of a valid packet."""
     return Address(
         packet[layout.SOURCE_IP : layout.DESTINATION_IP]
-        + packet[layout.SOURCE_PORT : layout.TARGET_PORT]
+        + packet[layout.SOURCE_PORT : layout.DESTINATION_PORT]
     )
 
 
@@ -79,7 +79,7 @@
     """Return the destination IP address and port of a valid packet."""
     return Address(
         packet[layout.DESTINATION_IP : layout.SOURCE_PORT]
-        + packet[layout.TARGET_PORT : layout.KEY_END]
+        + packet[layout.DESTINATION_PORT : layout.KEY_END]
     )
 
 
