--- a/libs/packets/src/kumquatmux_packets/reading.py
+++ b/libs/packets/src/kumquatmux_packets/reading.py
@@ -52,7 +52,7 @@
     """Return the flow key of a valid packet from a caller."""
     return FlowKey(
         packet[layout.PROTOCOL : layout.PROTOCOL + 1]
-        + packet[layout.SOURCE_IP : layout.KEY_END]
+        + packet[layout.SOURCE_IP : layout.FLOW_KEY_END]
     )
 
 
@@ -62,7 +62,7 @@
         packet[layout.PROTOCOL : layout.PROTOCOL + 1]
         + packet[layout.DESTINATION_IP : layout.SOURCE_PORT]
         + service[:4]
-        + packet[layout.DESTINATION_PORT : layout.KEY_END]
+        + packet[layout.DESTINATION_PORT : layout.FLOW_KEY_END]
         + service[4:]
     )
 
@@ -79,7 +79,7 @@
     """Return the destination IP address and port of a valid packet."""
     return Address(
         packet[layout.DESTINATION_IP : layout.SOURCE_PORT]
-        + packet[layout.DESTINATION_PORT : layout.KEY_END]
+        + packet[layout.DESTINATION_PORT : layout.FLOW_KEY_END]
     )
 
 
