Rename _adjust to _update_checksums

The function updates the checksums of a packet.

Rename: libs/packets/src/kumquatmux_packets/rewriting.py _adjust _update_checksums

--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -45,7 +45,7 @@
     changed = bytearray(packet)
     changed[16:20] = rewrite.ip
     changed[22:24] = rewrite.port
-    _adjust(changed, rewrite)
+    _update_checksums(changed, rewrite)
     return changed
 
 
@@ -54,11 +54,11 @@
     changed = bytearray(packet)
     changed[12:16] = rewrite.ip
     changed[20:22] = rewrite.port
-    _adjust(changed, rewrite)
+    _update_checksums(changed, rewrite)
     return changed
 
 
-def _adjust(packet: bytearray, rewrite: Rewrite) -> None:
+def _update_checksums(packet: bytearray, rewrite: Rewrite) -> None:
     total = (~(packet[10] << 8 | packet[11]) & WORD_MASK) + rewrite.ip_difference
     total = ~((total & WORD_MASK) + (total >> 16)) & WORD_MASK
     packet[10] = total >> 8
