Rename _difference to _checksum_difference

The function computes a checksum difference.

Rename: libs/packets/src/kumquatmux_packets/rewriting.py _difference _checksum_difference

--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -30,8 +30,8 @@
 
 def plan_rewrite(old: Address, new: Address) -> Rewrite:
     """Compute the rewrite that replaces one address with another."""
-    ip_difference = _difference(old[:4], new[:4])
-    port_difference = _difference(old[4:], new[4:])
+    ip_difference = _checksum_difference(old[:4], new[:4])
+    port_difference = _checksum_difference(old[4:], new[4:])
     return Rewrite(
         ip=bytes(new[:4]),
         port=bytes(new[4:]),
@@ -79,7 +79,7 @@
     packet[at + 1] = total & 0xFF
 
 
-def _difference(old: bytes, new: bytes) -> int:
+def _checksum_difference(old: bytes, new: bytes) -> int:
     total = 0
     for at in range(0, len(old), 2):
         total += ~int.from_bytes(old[at : at + 2]) & WORD_MASK
