--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -36,7 +36,7 @@
         ip=bytes(new[:4]),
         port=bytes(new[4:]),
         ip_difference=ip_difference,
-        transport_difference=_fold(ip_difference + port_difference),
+        transport_difference=_fold_carries(ip_difference + port_difference),
     )
 
 
@@ -84,10 +84,10 @@
     for at in range(0, len(old), 2):
         total += ~int.from_bytes(old[at : at + 2]) & WORD_MASK
         total += int.from_bytes(new[at : at + 2])
-    return _fold(total)
+    return _fold_carries(total)
 
 
-def _fold(total: int) -> int:
+def _fold_carries(total: int) -> int:
     while total > WORD_MASK:
         total = (total & WORD_MASK) + (total >> 16)
     return total
