--- a/libs/core/src/kumquatmux_core/latencies.py
+++ b/libs/core/src/kumquatmux_core/latencies.py
@@ -5,7 +5,7 @@
 from hdrh.histogram import HdrHistogram
 
 MIN_LATENCY_US = 1
-HIGHEST_US = 60_000_000
+MAX_LATENCY_US = 60_000_000
 DIGITS = 2
 
 
@@ -26,7 +26,7 @@
         """
         histogram = self.histograms.get(name)
         if histogram is None:
-            histogram = HdrHistogram(MIN_LATENCY_US, HIGHEST_US, DIGITS)
+            histogram = HdrHistogram(MIN_LATENCY_US, MAX_LATENCY_US, DIGITS)
             self.histograms[name] = histogram
         value = int(seconds * 1_000_000)
-        histogram.record_value(min(max(value, MIN_LATENCY_US), HIGHEST_US))
+        histogram.record_value(min(max(value, MIN_LATENCY_US), MAX_LATENCY_US))
