--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -20,7 +20,7 @@
     """
 
     file: int = 1
-    waiting_lines: int = 4096
+    max_buffered_lines: int = 4096
     lines_per_s: int = 200
 
 
@@ -68,7 +68,7 @@
 
     def put(self, event: str, fields: dict[str, Any]) -> None:
         """Buffer a line, or drop and count it if a limit is reached."""
-        is_full = len(self.waiting) >= self.settings.waiting_lines
+        is_full = len(self.waiting) >= self.settings.max_buffered_lines
         if is_full or self.in_second[event] >= self.settings.lines_per_s:
             self.dropped[event] += 1
             return
@@ -92,7 +92,7 @@
             self.dropped["stream-failed"] += 1
             count = len(batch)
         self.rest = batch[count:]
-        limit = self.settings.waiting_lines * 256
+        limit = self.settings.max_buffered_lines * 256
         if len(self.rest) > limit:
             self.dropped["stream-slow"] += self.rest.count(b"\n")
             self.rest = b""
