--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -21,7 +21,7 @@
 
     file: int = 1
     max_buffered_lines: int = 4096
-    lines_per_s: int = 200
+    max_lines_per_s: int = 200
 
 
 class LineWriter:
@@ -69,7 +69,7 @@
     def put(self, event: str, fields: dict[str, Any]) -> None:
         """Buffer a line, or drop and count it if a limit is reached."""
         is_full = len(self.waiting) >= self.settings.max_buffered_lines
-        if is_full or self.in_second[event] >= self.settings.lines_per_s:
+        if is_full or self.in_second[event] >= self.settings.max_lines_per_s:
             self.dropped[event] += 1
             return
         self.in_second[event] += 1
