Rename file to file_descriptor

The value is a file descriptor, not a file object.

Rename: libs/core/src/kumquatmux_core/lines.py file file_descriptor

--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -19,7 +19,7 @@
             lines are dropped and counted.
     """
 
-    file: int = 1
+    file_descriptor: int = 1
     max_buffered_lines: int = 4096
     max_lines_per_s: int = 200
 
@@ -53,7 +53,7 @@
         self.second = -1
         self.now = 0.0
         try:
-            os.set_blocking(settings.file, False)
+            os.set_blocking(settings.file_descriptor, False)
         except OSError:
             self.dropped["blocking-stream"] += 1
 
@@ -85,7 +85,7 @@
         self.written += len(self.waiting)
         self.waiting.clear()
         try:
-            count = os.write(self.settings.file, batch)
+            count = os.write(self.settings.file_descriptor, batch)
         except BlockingIOError:
             count = 0
         except OSError:
