--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -44,7 +44,7 @@
     def __init__(self, settings: LineSettings, vm: str) -> None:
         self.settings = settings
         self.vm = vm
-        self.waiting: deque[bytes] = deque()
+        self.buffered: deque[bytes] = deque()
         self.rest = b""
         self.dropped: Counter[str] = Counter()
         self.told: Counter[str] = Counter()
@@ -68,22 +68,22 @@
 
     def put(self, event: str, fields: dict[str, Any]) -> None:
         """Buffer a line, or drop and count it if a limit is reached."""
-        is_full = len(self.waiting) >= self.settings.max_buffered_lines
+        is_full = len(self.buffered) >= self.settings.max_buffered_lines
         if is_full or self.in_second[event] >= self.settings.max_lines_per_s:
             self.dropped[event] += 1
             return
         self.in_second[event] += 1
         line = {"t": round(self.now, 3), "event": event, "vm": self.vm}
         line.update((key, _json_value(value)) for key, value in fields.items())
-        self.waiting.append(msgspec.json.encode(line) + b"\n")
+        self.buffered.append(msgspec.json.encode(line) + b"\n")
 
     def flush(self) -> None:
         """Write as many buffered bytes as the stream accepts without blocking."""
-        if not self.waiting and not self.rest:
+        if not self.buffered and not self.rest:
             return
-        batch = self.rest + b"".join(self.waiting)
-        self.written += len(self.waiting)
-        self.waiting.clear()
+        batch = self.rest + b"".join(self.buffered)
+        self.written += len(self.buffered)
+        self.buffered.clear()
         try:
             count = os.write(self.settings.file_descriptor, batch)
         except BlockingIOError:
