Rename rest to unwritten

The attribute holds the bytes that are not yet written.

Rename: libs/core/src/kumquatmux_core/lines.py rest unwritten

--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -45,7 +45,7 @@
         self.settings = settings
         self.vm = vm
         self.buffered: deque[bytes] = deque()
-        self.rest = b""
+        self.unwritten = b""
         self.dropped: Counter[str] = Counter()
         self.told: Counter[str] = Counter()
         self.written = 0
@@ -79,9 +79,9 @@
 
     def flush(self) -> None:
         """Write as many buffered bytes as the stream accepts without blocking."""
-        if not self.buffered and not self.rest:
+        if not self.buffered and not self.unwritten:
             return
-        batch = self.rest + b"".join(self.buffered)
+        batch = self.unwritten + b"".join(self.buffered)
         self.written += len(self.buffered)
         self.buffered.clear()
         try:
@@ -91,11 +91,11 @@
         except OSError:
             self.dropped["stream-failed"] += 1
             count = len(batch)
-        self.rest = batch[count:]
+        self.unwritten = batch[count:]
         limit = self.settings.max_buffered_lines * 256
-        if len(self.rest) > limit:
-            self.dropped["stream-slow"] += self.rest.count(b"\n")
-            self.rest = b""
+        if len(self.unwritten) > limit:
+            self.dropped["stream-slow"] += self.unwritten.count(b"\n")
+            self.unwritten = b""
 
     def _report_dropped(self) -> None:
         news = self.dropped - self.told
--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -60,7 +60,7 @@
         lines.put("noise", {"text": "x" * 200})
         lines.flush()
     assert len(lines.buffered) <= 50
-    assert len(lines.rest) <= 50 * 256 + 300
+    assert len(lines.unwritten) <= 50 * 256 + 300
     assert lines.dropped["stream-slow"] > 0
 
 
