Rename told to reported

The attribute holds the counts that were last reported.

Rename: libs/core/src/kumquatmux_core/lines.py told reported

--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -47,7 +47,7 @@
         self.buffered: deque[bytes] = deque()
         self.unwritten = b""
         self.dropped: Counter[str] = Counter()
-        self.told: Counter[str] = Counter()
+        self.reported: Counter[str] = Counter()
         self.written = 0
         self.in_second: Counter[str] = Counter()
         self.second = -1
@@ -98,9 +98,9 @@
             self.unwritten = b""
 
     def _report_dropped(self) -> None:
-        news = self.dropped - self.told
+        news = self.dropped - self.reported
         if news:
-            self.told = self.dropped.copy()
+            self.reported = self.dropped.copy()
             self.put("lines-dropped", {"counts": dict(news)})
 
 
