Rename in_second to lines_this_second

The attribute counts the lines of the current second.

Rename: libs/core/src/kumquatmux_core/lines.py in_second lines_this_second

--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -49,7 +49,7 @@
         self.dropped: Counter[str] = Counter()
         self.reported: Counter[str] = Counter()
         self.written = 0
-        self.in_second: Counter[str] = Counter()
+        self.lines_this_second: Counter[str] = Counter()
         self.second = -1
         self.now = 0.0
         try:
@@ -62,17 +62,17 @@
         self.now = now
         if int(now) != self.second:
             self.second = int(now)
-            self.in_second.clear()
+            self.lines_this_second.clear()
             self._report_dropped()
         self.flush()
 
     def put(self, event: str, fields: dict[str, Any]) -> None:
         """Buffer a line, or drop and count it if a limit is reached."""
         is_full = len(self.buffered) >= self.settings.max_buffered_lines
-        if is_full or self.in_second[event] >= self.settings.max_lines_per_s:
+        if is_full or self.lines_this_second[event] >= self.settings.max_lines_per_s:
             self.dropped[event] += 1
             return
-        self.in_second[event] += 1
+        self.lines_this_second[event] += 1
         line = {"t": round(self.now, 3), "event": event, "vm": self.vm}
         line.update((key, _json_value(value)) for key, value in fields.items())
         self.buffered.append(msgspec.json.encode(line) + b"\n")
