--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -50,7 +50,7 @@
         self.reported: Counter[str] = Counter()
         self.written = 0
         self.lines_this_second: Counter[str] = Counter()
-        self.second = -1
+        self.current_second = -1
         self.now = 0.0
         try:
             os.set_blocking(settings.file_descriptor, False)
@@ -60,8 +60,8 @@
     def tick(self, now: float) -> None:
         """Set the current time, in monotonic seconds, and write buffered lines."""
         self.now = now
-        if int(now) != self.second:
-            self.second = int(now)
+        if int(now) != self.current_second:
+            self.current_second = int(now)
             self.lines_this_second.clear()
             self._report_dropped()
         self.flush()
