Rename written to written_lines

The attribute counts lines, not bytes.

Rename: libs/core/src/kumquatmux_core/lines.py written written_lines

--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -48,7 +48,7 @@
         self.unwritten = b""
         self.dropped: Counter[str] = Counter()
         self.reported: Counter[str] = Counter()
-        self.written = 0
+        self.written_lines = 0
         self.lines_this_second: Counter[str] = Counter()
         self.current_second = -1
         self.now = 0.0
@@ -82,7 +82,7 @@
         if not self.buffered and not self.unwritten:
             return
         batch = self.unwritten + b"".join(self.buffered)
-        self.written += len(self.buffered)
+        self.written_lines += len(self.buffered)
         self.buffered.clear()
         try:
             count = os.write(self.settings.file_descriptor, batch)
