Rename news to unreported

The counter holds the drops that are not yet reported.

Rename: libs/core/src/kumquatmux_core/lines.py news unreported

--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -98,10 +98,10 @@
             self.unwritten = b""
 
     def _report_dropped(self) -> None:
-        news = self.dropped - self.reported
-        if news:
+        unreported = self.dropped - self.reported
+        if unreported:
             self.reported = self.dropped.copy()
-            self.put("lines-dropped", {"counts": dict(news)})
+            self.put("lines-dropped", {"counts": dict(unreported)})
 
 
 def _json_value(value: Any) -> Any:
