--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -92,8 +92,8 @@
             self.dropped["stream-failed"] += 1
             count = len(batch)
         self.unwritten = batch[count:]
-        limit = self.settings.max_buffered_lines * 256
-        if len(self.unwritten) > limit:
+        max_unwritten_bytes = self.settings.max_buffered_lines * 256
+        if len(self.unwritten) > max_unwritten_bytes:
             self.dropped["stream-slow"] += self.unwritten.count(b"\n")
             self.unwritten = b""
 
