--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -85,13 +85,13 @@
         self.written_lines += len(self.buffered)
         self.buffered.clear()
         try:
-            count = os.write(self.settings.file_descriptor, batch)
+            written_bytes = os.write(self.settings.file_descriptor, batch)
         except BlockingIOError:
-            count = 0
+            written_bytes = 0
         except OSError:
             self.dropped["stream-failed"] += 1
-            count = len(batch)
-        self.unwritten = batch[count:]
+            written_bytes = len(batch)
+        self.unwritten = batch[written_bytes:]
         max_unwritten_bytes = self.settings.max_buffered_lines * 256
         if len(self.unwritten) > max_unwritten_bytes:
             self.dropped["stream-slow"] += self.unwritten.count(b"\n")
