Rename known to known_fields

The local holds the field values that this version knows.

Rename: libs/core/src/kumquatmux_core/codec.py known known_fields

--- a/libs/core/src/kumquatmux_core/codec.py
+++ b/libs/core/src/kumquatmux_core/codec.py
@@ -73,7 +73,7 @@
         values = msgspec.msgpack.decode(body)
         if not isinstance(values, list):
             return Error(Problem("message-shape", "message body is not an array"))
-        known = values[: len(message_type._fields)]
-        return Ok(msgspec.convert(known, message_type, strict=True))
+        known_fields = values[: len(message_type._fields)]
+        return Ok(msgspec.convert(known_fields, message_type, strict=True))
     except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
         return Error(Problem("message-body", str(error)))
