Rename total to entry_count

The local is the number of entries in all tables.

Rename: libs/core/src/kumquatmux_core/codec.py total entry_count

--- a/libs/core/src/kumquatmux_core/codec.py
+++ b/libs/core/src/kumquatmux_core/codec.py
@@ -62,8 +62,8 @@
         ValueError: A kind or a message type occurs more than once.
     """
     types = {kind: message for table in tables for kind, message in table.items()}
-    total = sum(len(table) for table in tables)
-    if len(types) < total or len(set(types.values())) < total:
+    entry_count = sum(len(table) for table in tables)
+    if len(types) < entry_count or len(set(types.values())) < entry_count:
         raise ValueError("two message types share a kind, or one type has two kinds")
     return Registry(types, {message: kind for kind, message in types.items()})
 
