Rename value to microseconds

The local is a duration in microseconds.

Rename: libs/core/src/kumquatmux_core/latencies.py value microseconds

--- a/libs/core/src/kumquatmux_core/latencies.py
+++ b/libs/core/src/kumquatmux_core/latencies.py
@@ -28,5 +28,5 @@
         if histogram is None:
             histogram = HdrHistogram(MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
             self.histograms[name] = histogram
-        value = int(seconds * 1_000_000)
-        histogram.record_value(min(max(value, MIN_LATENCY_US), MAX_LATENCY_US))
+        microseconds = int(seconds * 1_000_000)
+        histogram.record_value(min(max(microseconds, MIN_LATENCY_US), MAX_LATENCY_US))
