Rename packet_at to packet_offset

The local is the byte offset of the packet.

Rename: libs/packets/src/kumquatmux_packets/envelope.py packet_at packet_offset

--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -67,9 +67,9 @@
         return Error(
             Problem("envelope-version", f"unsupported envelope version {version}")
         )
-    packet_at = HEADER_AND_DIGEST_BYTES + fields_bytes
-    fields = data[HEADER_AND_DIGEST_BYTES:packet_at]
-    packet = data[packet_at:]
+    packet_offset = HEADER_AND_DIGEST_BYTES + fields_bytes
+    fields = data[HEADER_AND_DIGEST_BYTES:packet_offset]
+    packet = data[packet_offset:]
     digest = _compute_digest(data[: HEADER_STRUCT.size], fields, packet, key)
     if not hmac.compare_digest(
         digest, data[HEADER_STRUCT.size : HEADER_AND_DIGEST_BYTES]
