Rename signed to authenticated

The bytes are authenticated by a keyed digest, not signed.

Rename: libs/packets/src/kumquatmux_packets/envelope.py signed authenticated

--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -86,5 +86,5 @@
 
 
 def _compute_digest(header: bytes, fields: bytes, packet: bytes, key: bytes) -> bytes:
-    signed = b"".join((header, fields, packet[:AUTHENTICATED_PACKET_BYTES]))
-    return hashlib.blake2s(signed, key=key, digest_size=DIGEST_BYTES).digest()
+    authenticated = b"".join((header, fields, packet[:AUTHENTICATED_PACKET_BYTES]))
+    return hashlib.blake2s(authenticated, key=key, digest_size=DIGEST_BYTES).digest()
