--- a/libs/packets/src/kumquatmux_packets/answers.py
+++ b/libs/packets/src/kumquatmux_packets/answers.py
@@ -28,7 +28,7 @@
     """Build a TCP reset to the backend server, with the caller's source address."""
     return _build_tcp_packet(
         source=caller_address(key),
-        target=server,
+        destination=server,
         flags=dpkt.tcp.TH_RST,
         seq=seq,
         ack=0,
@@ -42,7 +42,7 @@
     """
     return _build_tcp_packet(
         source=caller_address(key),
-        target=server,
+        destination=server,
         flags=dpkt.tcp.TH_ACK,
         seq=seq,
         ack=ack,
@@ -53,7 +53,7 @@
     """Build a TCP keepalive probe to the caller, with the service's source address."""
     return _build_tcp_packet(
         source=service_address(key),
-        target=caller_address(key),
+        destination=caller_address(key),
         flags=dpkt.tcp.TH_ACK,
         seq=seq,
         ack=ack,
@@ -85,7 +85,7 @@
         seq, ack = 0, segment.seq + length & SEQ_MASK
     return _build_tcp_packet(
         source=service_address(segment.key),
-        target=caller_address(segment.key),
+        destination=caller_address(segment.key),
         flags=flags,
         seq=seq,
         ack=ack,
@@ -111,11 +111,11 @@
 
 
 def _build_tcp_packet(
-    *, source: Address, target: Address, flags: int, seq: int, ack: int
+    *, source: Address, destination: Address, flags: int, seq: int, ack: int
 ) -> bytes:
     tcp = dpkt.tcp.TCP(
         sport=int.from_bytes(source[4:]),
-        dport=int.from_bytes(target[4:]),
+        dport=int.from_bytes(destination[4:]),
         seq=seq & SEQ_MASK,
         ack=ack & SEQ_MASK,
         flags=flags,
@@ -123,7 +123,7 @@
     )
     packet = dpkt.ip.IP(
         src=bytes(source[:4]),
-        dst=bytes(target[:4]),
+        dst=bytes(destination[:4]),
         p=dpkt.ip.IP_PROTO_TCP,
         ttl=TIME_TO_LIVE,
         data=tcp,
