Rename at to checksum_offset

The local is the byte offset of the transport checksum.

Rename: libs/packets/src/kumquatmux_packets/rewriting.py at checksum_offset

--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -64,19 +64,19 @@
     packet[10] = total >> 8
     packet[11] = total & 0xFF
     if packet[9] == PROTOCOL_TCP:
-        at = layout.TCP_CHECKSUM
-        old = packet[at] << 8 | packet[at + 1]
+        checksum_offset = layout.TCP_CHECKSUM
+        old = packet[checksum_offset] << 8 | packet[checksum_offset + 1]
     else:
-        at = layout.UDP_CHECKSUM
-        old = packet[at] << 8 | packet[at + 1]
+        checksum_offset = layout.UDP_CHECKSUM
+        old = packet[checksum_offset] << 8 | packet[checksum_offset + 1]
         if old == 0:
             return
     total = (~old & WORD_MASK) + rewrite.transport_difference
     total = ~((total & WORD_MASK) + (total >> 16)) & WORD_MASK
-    if total == 0 and at == layout.UDP_CHECKSUM:
+    if total == 0 and checksum_offset == layout.UDP_CHECKSUM:
         total = WORD_MASK
-    packet[at] = total >> 8
-    packet[at + 1] = total & 0xFF
+    packet[checksum_offset] = total >> 8
+    packet[checksum_offset + 1] = total & 0xFF
 
 
 def _checksum_difference(old: bytes, new: bytes) -> int:
