--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -81,9 +81,9 @@
 
 def _checksum_difference(old: bytes, new: bytes) -> int:
     total = 0
-    for at in range(0, len(old), 2):
-        total += ~int.from_bytes(old[at : at + 2]) & WORD_MASK
-        total += int.from_bytes(new[at : at + 2])
+    for offset in range(0, len(old), 2):
+        total += ~int.from_bytes(old[offset : offset + 2]) & WORD_MASK
+        total += int.from_bytes(new[offset : offset + 2])
     return _fold_carries(total)
 
 
