Rename old to old_checksum

The local is the old transport checksum.

Rename: libs/packets/src/kumquatmux_packets/rewriting.py old old_checksum

--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -65,13 +65,13 @@
     packet[11] = total & 0xFF
     if packet[9] == PROTOCOL_TCP:
         checksum_offset = layout.TCP_CHECKSUM
-        old = packet[checksum_offset] << 8 | packet[checksum_offset + 1]
+        old_checksum = packet[checksum_offset] << 8 | packet[checksum_offset + 1]
     else:
         checksum_offset = layout.UDP_CHECKSUM
-        old = packet[checksum_offset] << 8 | packet[checksum_offset + 1]
-        if old == 0:
+        old_checksum = packet[checksum_offset] << 8 | packet[checksum_offset + 1]
+        if old_checksum == 0:
             return
-    total = (~old & WORD_MASK) + rewrite.transport_difference
+    total = (~old_checksum & WORD_MASK) + rewrite.transport_difference
     total = ~((total & WORD_MASK) + (total >> 16)) & WORD_MASK
     if total == 0 and checksum_offset == layout.UDP_CHECKSUM:
         total = WORD_MASK
