Rename changed to rewritten

The local is the rewritten packet.

Rename: libs/packets/src/kumquatmux_packets/rewriting.py changed rewritten

--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -42,11 +42,11 @@
 
 def rewrite_target(packet: bytes, rewrite: Rewrite) -> bytearray:
     """Return a copy of a packet with its destination IP address and port replaced."""
-    changed = bytearray(packet)
-    changed[16:20] = rewrite.ip
-    changed[22:24] = rewrite.port
-    _update_checksums(changed, rewrite)
-    return changed
+    rewritten = bytearray(packet)
+    rewritten[16:20] = rewrite.ip
+    rewritten[22:24] = rewrite.port
+    _update_checksums(rewritten, rewrite)
+    return rewritten
 
 
 def rewrite_source(packet: bytes, rewrite: Rewrite) -> bytearray:
