--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -44,7 +44,7 @@
     return bytes(packet)
 
 
-def checksums_hold(packet):
+def has_valid_checksums(packet):
     """Return whether the packet's checksums equal those that dpkt computes."""
     fresh = dpkt.ip.IP(packet)
     fresh.sum = 0
@@ -60,10 +60,10 @@
     ):
         changed = rewrite_target(packet, plan_rewrite(service.packed, server.packed))
         assert reading.target_address(bytes(changed)) == server.packed
-        assert checksums_hold(bytes(changed))
+        assert has_valid_checksums(bytes(changed))
         changed = rewrite_source(packet, plan_rewrite(caller.packed, server.packed))
         assert reading.source_address(bytes(changed)) == server.packed
-        assert checksums_hold(bytes(changed))
+        assert has_valid_checksums(bytes(changed))
 
 
 def test_a_udp_packet_without_checksum_stays_without():
