--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -85,7 +85,7 @@
 GOOD = tcp_packet(CALLER, SERVICE)
 
 
-def changed_at(at, value, packet=GOOD):
+def with_byte(at, value, packet=GOOD):
     return packet[:at] + bytes([value]) + packet[at + 1 :]
 
 
@@ -94,14 +94,14 @@
     [
         (b"", "packet-short"),
         (GOOD[:39], "packet-length"),
-        (changed_at(0, 0x46), "packet-version"),
-        (changed_at(3, 99), "packet-length"),
-        (changed_at(6, 0x20), "packet-fragment"),
-        (changed_at(7, 0x01), "packet-fragment"),
-        (changed_at(9, 47), "packet-protocol"),
-        (changed_at(32, 0x10), "packet-tcp-offset"),
-        (changed_at(32, 0xF0), "packet-tcp-offset"),
-        (changed_at(25, 99, udp_packet(CALLER, SERVICE)), "packet-udp-length"),
+        (with_byte(0, 0x46), "packet-version"),
+        (with_byte(3, 99), "packet-length"),
+        (with_byte(6, 0x20), "packet-fragment"),
+        (with_byte(7, 0x01), "packet-fragment"),
+        (with_byte(9, 47), "packet-protocol"),
+        (with_byte(32, 0x10), "packet-tcp-offset"),
+        (with_byte(32, 0xF0), "packet-tcp-offset"),
+        (with_byte(25, 99, udp_packet(CALLER, SERVICE)), "packet-udp-length"),
     ],
 )
 def test_malformed_packets_are_named(packet, code):
