--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -82,10 +82,10 @@
     assert answers.service_address(there.key) == SERVICE.packed
 
 
-GOOD = tcp_packet(CALLER, SERVICE)
+VALID_PACKET = tcp_packet(CALLER, SERVICE)
 
 
-def with_byte(at, value, packet=GOOD):
+def with_byte(at, value, packet=VALID_PACKET):
     return packet[:at] + bytes([value]) + packet[at + 1 :]
 
 
@@ -93,7 +93,7 @@
     ("packet", "code"),
     [
         (b"", "packet-short"),
-        (GOOD[:39], "packet-length"),
+        (VALID_PACKET[:39], "packet-length"),
         (with_byte(0, 0x46), "packet-version"),
         (with_byte(3, 99), "packet-length"),
         (with_byte(6, 0x20), "packet-fragment"),
@@ -153,13 +153,13 @@
 
 @given(PASSINGS)
 def test_an_envelope_survives_the_trip(passing):
-    opened = envelope.unseal(envelope.seal(passing, GOOD, key=KEY), key=KEY).ok
-    assert opened == envelope.DecodedEnvelope(passing, GOOD)
+    opened = envelope.unseal(envelope.seal(passing, VALID_PACKET, key=KEY), key=KEY).ok
+    assert opened == envelope.DecodedEnvelope(passing, VALID_PACKET)
 
 
 @given(st.integers(0, envelope.HEADER_AND_DIGEST_BYTES + 39), st.integers(1, 255))
 def test_a_changed_envelope_is_refused(at, difference):
-    sealed = bytearray(envelope.seal(Passing(Stage.STORE), GOOD, key=KEY))
+    sealed = bytearray(envelope.seal(Passing(Stage.STORE), VALID_PACKET, key=KEY))
     sealed[at] ^= difference
     assert envelope.unseal(bytes(sealed), key=KEY).is_error()
 
