Rename test_rewriting_keeps_checksums_right to test_rewriting_keeps_checksums_valid

Checksums are valid or invalid.

Rename: libs/packets/tests/test_packets.py test_rewriting_keeps_checksums_right test_rewriting_keeps_checksums_valid

--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -53,7 +53,7 @@
 
 
 @given(ENDPOINTS, ENDPOINTS, ENDPOINTS, st.binary(max_size=40))
-def test_rewriting_keeps_checksums_right(caller, service, server, payload):
+def test_rewriting_keeps_checksums_valid(caller, service, server, payload):
     for packet in (
         tcp_packet(caller, service, payload=payload),
         udp_packet(caller, service, payload),
