Rename test_a_udp_packet_without_checksum_stays_without to test_rewriting_keeps_a_zero_udp_checksum

The name says what is rewritten and what is kept.

Rename: libs/packets/tests/test_packets.py test_a_udp_packet_without_checksum_stays_without test_rewriting_keeps_a_zero_udp_checksum

--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -66,7 +66,7 @@
         assert has_valid_checksums(bytes(changed))
 
 
-def test_a_udp_packet_without_checksum_stays_without():
+def test_rewriting_keeps_a_zero_udp_checksum():
     packet = bytearray(udp_packet(CALLER, SERVICE, b"x"))
     packet[26:28] = b"\0\0"
     rewrite = plan_rewrite(SERVICE.packed, SERVER.packed)
