Rename test_both_directions_give_one_key to test_both_directions_have_the_same_flow_key

The key is a flow key.

Rename: libs/packets/tests/test_packets.py test_both_directions_give_one_key test_both_directions_have_the_same_flow_key

--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -73,7 +73,7 @@
     assert rewrite_target(bytes(packet), rewrite)[26:28] == b"\0\0"
 
 
-def test_both_directions_give_one_key():
+def test_both_directions_have_the_same_flow_key():
     there = reading.parse_caller_packet(tcp_packet(CALLER, SERVICE, payload=b"abc")).ok
     back = reading.parse_reply_packet(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
     assert there.key == back.key
