--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -74,12 +74,14 @@
 
 
 def test_both_directions_have_the_same_flow_key():
-    there = reading.parse_caller_packet(tcp_packet(CALLER, SERVICE, payload=b"abc")).ok
+    request = reading.parse_caller_packet(
+        tcp_packet(CALLER, SERVICE, payload=b"abc")
+    ).ok
     back = reading.parse_reply_packet(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
-    assert there.key == back.key
-    assert (there.seq, there.ack, there.payload_length) == (1, 2, 3)
-    assert answers.caller_address(there.key) == CALLER.packed
-    assert answers.service_address(there.key) == SERVICE.packed
+    assert request.key == back.key
+    assert (request.seq, request.ack, request.payload_length) == (1, 2, 3)
+    assert answers.caller_address(request.key) == CALLER.packed
+    assert answers.service_address(request.key) == SERVICE.packed
 
 
 VALID_PACKET = tcp_packet(CALLER, SERVICE)
