--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -77,8 +77,8 @@
     request = reading.parse_caller_packet(
         tcp_packet(CALLER, SERVICE, payload=b"abc")
     ).ok
-    back = reading.parse_reply_packet(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
-    assert request.key == back.key
+    reply = reading.parse_reply_packet(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
+    assert request.key == reply.key
     assert (request.seq, request.ack, request.payload_length) == (1, 2, 3)
     assert answers.caller_address(request.key) == CALLER.packed
     assert answers.service_address(request.key) == SERVICE.packed
