Rename test_malformed_packets_are_named to test_malformed_packets_return_their_error_code

The test checks the error code.

Rename: libs/packets/tests/test_packets.py test_malformed_packets_are_named test_malformed_packets_return_their_error_code

--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -106,7 +106,7 @@
         (with_byte(25, 99, udp_packet(CALLER, SERVICE)), "packet-udp-length"),
     ],
 )
-def test_malformed_packets_are_named(packet, code):
+def test_malformed_packets_return_their_error_code(packet, code):
     assert reading.parse_caller_packet(packet).error.code == code
 
 
