--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -111,7 +111,7 @@
 
 
 @given(st.binary(max_size=80))
-def test_no_bytes_crash_the_reader(data):
+def test_arbitrary_bytes_never_crash_the_parser(data):
     result = reading.parse_caller_packet(data)
     assert result.is_ok() or result.error.code.startswith("packet-")
 
