--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -167,5 +167,5 @@
 
 
 @given(st.binary(max_size=80))
-def test_no_bytes_crash_the_envelope(data):
+def test_arbitrary_bytes_are_refused_as_an_envelope(data):
     assert envelope.unseal(data, key=KEY).is_error()
