Rename test_a_refused_syn_gets_a_reset_its_caller_accepts to test_refused_syn_is_answered_with_an_acceptable_reset

RFC 9293 calls a reset acceptable if its sequence number is.

Rename: libs/packets/tests/test_packets.py test_a_refused_syn_gets_a_reset_its_caller_accepts test_refused_syn_is_answered_with_an_acceptable_reset

--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -116,7 +116,7 @@
     assert result.is_ok() or result.error.code.startswith("packet-")
 
 
-def test_a_refused_syn_gets_a_reset_its_caller_accepts():
+def test_refused_syn_is_answered_with_an_acceptable_reset():
     segment = reading.parse_caller_packet(
         tcp_packet(CALLER, SERVICE, flags=FLAG_SYN, seq=0xFFFFFFFF, ack=0)
     ).ok
