Rename test_a_refused_segment_gets_a_reset_at_its_acknowledgement to test_reset_of_a_segment_with_ack_uses_its_acknowledgement_number

The name says which number is used.

Rename: libs/packets/tests/test_packets.py test_a_refused_segment_gets_a_reset_at_its_acknowledgement test_reset_of_a_segment_with_ack_uses_its_acknowledgement_number

--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -126,7 +126,7 @@
     assert reset.src == SERVICE.packed[:4]
 
 
-def test_a_refused_segment_gets_a_reset_at_its_acknowledgement():
+def test_reset_of_a_segment_with_ack_uses_its_acknowledgement_number():
     segment = reading.parse_caller_packet(tcp_packet(CALLER, SERVICE, ack=77)).ok
     reset = dpkt.ip.IP(answers.refuse_caller(segment))
     assert (reset.data.flags, reset.data.seq) == (dpkt.tcp.TH_RST, 77)
