Rename test_a_refused_datagram_gets_port_unreachable to test_refused_datagram_is_answered_with_icmp_port_unreachable

The name says which protocol answers.

Rename: libs/packets/tests/test_packets.py test_a_refused_datagram_gets_port_unreachable test_refused_datagram_is_answered_with_icmp_port_unreachable

--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -132,7 +132,7 @@
     assert (reset.data.flags, reset.data.seq) == (dpkt.tcp.TH_RST, 77)
 
 
-def test_a_refused_datagram_gets_port_unreachable():
+def test_refused_datagram_is_answered_with_icmp_port_unreachable():
     packet = udp_packet(CALLER, SERVICE, b"hello")
     answer = dpkt.ip.IP(answers.refuse_caller(reading.parse_caller_packet(packet).ok))
     assert (answer.data.type, answer.data.code) == (3, 3)
