Rename test_an_envelope_survives_the_trip to test_envelope_round_trip

Round trip is the usual term.

Rename: libs/packets/tests/test_packets.py test_an_envelope_survives_the_trip test_envelope_round_trip

--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -154,7 +154,7 @@
 
 
 @given(PASSINGS)
-def test_an_envelope_survives_the_trip(passing):
+def test_envelope_round_trip(passing):
     opened = envelope.unseal(envelope.seal(passing, VALID_PACKET, key=KEY), key=KEY).ok
     assert opened == envelope.DecodedEnvelope(passing, VALID_PACKET)
 
