--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -58,12 +58,12 @@
         tcp_packet(caller, service, payload=payload),
         udp_packet(caller, service, payload),
     ):
-        changed = rewrite_target(packet, plan_rewrite(service.packed, server.packed))
-        assert reading.target_address(bytes(changed)) == server.packed
-        assert has_valid_checksums(bytes(changed))
-        changed = rewrite_source(packet, plan_rewrite(caller.packed, server.packed))
-        assert reading.source_address(bytes(changed)) == server.packed
-        assert has_valid_checksums(bytes(changed))
+        rewritten = rewrite_target(packet, plan_rewrite(service.packed, server.packed))
+        assert reading.target_address(bytes(rewritten)) == server.packed
+        assert has_valid_checksums(bytes(rewritten))
+        rewritten = rewrite_source(packet, plan_rewrite(caller.packed, server.packed))
+        assert reading.source_address(bytes(rewritten)) == server.packed
+        assert has_valid_checksums(bytes(rewritten))
 
 
 def test_rewriting_keeps_a_zero_udp_checksum():
