--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -155,8 +155,8 @@
 
 @given(PASSINGS)
 def test_envelope_round_trip(passing):
-    opened = envelope.unseal(envelope.seal(passing, VALID_PACKET, key=KEY), key=KEY).ok
-    assert opened == envelope.DecodedEnvelope(passing, VALID_PACKET)
+    decoded = envelope.unseal(envelope.seal(passing, VALID_PACKET, key=KEY), key=KEY).ok
+    assert decoded == envelope.DecodedEnvelope(passing, VALID_PACKET)
 
 
 @given(st.integers(0, envelope.HEADER_AND_DIGEST_BYTES + 39), st.integers(1, 255))
