--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -46,10 +46,10 @@
 
 def has_valid_checksums(packet):
     """Return whether the packet's checksums equal those that dpkt computes."""
-    fresh = dpkt.ip.IP(packet)
-    fresh.sum = 0
-    fresh.data.sum = 0
-    return bytes(fresh) == bytes(packet)
+    recomputed = dpkt.ip.IP(packet)
+    recomputed.sum = 0
+    recomputed.data.sum = 0
+    return bytes(recomputed) == bytes(packet)
 
 
 @given(ENDPOINTS, ENDPOINTS, ENDPOINTS, st.binary(max_size=40))
