Rename test_a_message_survives_the_trip to test_message_round_trip

Round trip is the usual term.

Rename: libs/core/tests/test_codec.py test_a_message_survives_the_trip test_message_round_trip

--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -24,7 +24,7 @@
 NEW = registry({1: PingLater})
 
 
-def test_a_message_survives_the_trip():
+def test_message_round_trip():
     assert OLD.decode(OLD.encode(Ping(3, "x"))).ok == Ping(3, "x")
 
 
