Rename test_fields_of_a_newer_sender_are_tolerated to test_additional_fields_of_a_newer_sender_are_ignored

The decoder ignores unknown fields.

Rename: libs/core/tests/test_codec.py test_fields_of_a_newer_sender_are_tolerated test_additional_fields_of_a_newer_sender_are_ignored

--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -28,7 +28,7 @@
     assert OLD.decode(OLD.encode(Ping(3, "x"))).ok == Ping(3, "x")
 
 
-def test_fields_of_a_newer_sender_are_tolerated():
+def test_additional_fields_of_a_newer_sender_are_ignored():
     assert OLD.decode(NEW.encode(PingLater(3, "x", 9))).ok == Ping(3, "x")
 
 
