Rename test_fields_an_older_sender_lacks_take_their_defaults to test_fields_missing_from_an_older_sender_get_their_defaults

The name is a plain sentence.

Rename: libs/core/tests/test_codec.py test_fields_an_older_sender_lacks_take_their_defaults test_fields_missing_from_an_older_sender_get_their_defaults

--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -32,7 +32,7 @@
     assert OLD.decode(NEW.encode(PingLater(3, "x", 9))).ok == Ping(3, "x")
 
 
-def test_fields_an_older_sender_lacks_take_their_defaults():
+def test_fields_missing_from_an_older_sender_get_their_defaults():
     assert NEW.decode(OLD.encode(Ping(3, "x"))).ok == PingLater(3, "x", 0)
 
 
