Rename test_bad_messages_are_named to test_invalid_messages_return_their_error_code

The test checks the error code.

Rename: libs/core/tests/test_codec.py test_bad_messages_are_named test_invalid_messages_return_their_error_code

--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -36,7 +36,7 @@
     assert NEW.decode(OLD.encode(Ping(3, "x"))).ok == PingLater(3, "x", 0)
 
 
-def test_bad_messages_are_named():
+def test_invalid_messages_return_their_error_code():
     cases = {
         b"": "message-short",
         b"\x09\x00\x01\x90": "message-version",
