Rename test_two_types_cannot_share_a_kind to test_duplicate_kinds_and_types_are_rejected

The test covers kinds and types.

Rename: libs/core/tests/test_codec.py test_two_types_cannot_share_a_kind test_duplicate_kinds_and_types_are_rejected

--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -54,7 +54,7 @@
     assert OLD.decode(data).is_ok() or OLD.decode(data).is_error()
 
 
-def test_two_types_cannot_share_a_kind():
+def test_duplicate_kinds_and_types_are_rejected():
     with pytest.raises(ValueError, match="share a kind"):
         registry({1: Ping}, {1: PingLater})
     with pytest.raises(ValueError, match="one type has two kinds"):
