Rename PingLater to PingWithNewField

The type is the newer version of the message.

Rename: libs/core/tests/test_codec.py PingLater PingWithNewField

--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -14,14 +14,14 @@
     text: str = ""
 
 
-class PingLater(NamedTuple):
+class PingWithNewField(NamedTuple):
     number: int
     text: str = ""
     added: int = 0
 
 
 OLD = registry({1: Ping})
-NEW = registry({1: PingLater})
+NEW = registry({1: PingWithNewField})
 
 
 def test_message_round_trip():
@@ -29,11 +29,11 @@
 
 
 def test_additional_fields_of_a_newer_sender_are_ignored():
-    assert OLD.decode(NEW.encode(PingLater(3, "x", 9))).ok == Ping(3, "x")
+    assert OLD.decode(NEW.encode(PingWithNewField(3, "x", 9))).ok == Ping(3, "x")
 
 
 def test_fields_missing_from_an_older_sender_get_their_defaults():
-    assert NEW.decode(OLD.encode(Ping(3, "x"))).ok == PingLater(3, "x", 0)
+    assert NEW.decode(OLD.encode(Ping(3, "x"))).ok == PingWithNewField(3, "x", 0)
 
 
 def test_invalid_messages_return_their_error_code():
@@ -56,6 +56,6 @@
 
 def test_duplicate_kinds_and_types_are_rejected():
     with pytest.raises(ValueError, match="share a kind"):
-        registry({1: Ping}, {1: PingLater})
+        registry({1: Ping}, {1: PingWithNewField})
     with pytest.raises(ValueError, match="one type has two kinds"):
         registry({1: Ping}, {2: Ping})
