Rename OLD to OLDER_REGISTRY

The constant is the registry of the older version.

Rename: libs/core/tests/test_codec.py OLD OLDER_REGISTRY

--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -20,20 +20,24 @@
     added: int = 0
 
 
-OLD = registry({1: Ping})
+OLDER_REGISTRY = registry({1: Ping})
 NEW = registry({1: PingWithNewField})
 
 
 def test_message_round_trip():
-    assert OLD.decode(OLD.encode(Ping(3, "x"))).ok == Ping(3, "x")
+    assert OLDER_REGISTRY.decode(OLDER_REGISTRY.encode(Ping(3, "x"))).ok == Ping(3, "x")
 
 
 def test_additional_fields_of_a_newer_sender_are_ignored():
-    assert OLD.decode(NEW.encode(PingWithNewField(3, "x", 9))).ok == Ping(3, "x")
+    assert OLDER_REGISTRY.decode(NEW.encode(PingWithNewField(3, "x", 9))).ok == Ping(
+        3, "x"
+    )
 
 
 def test_fields_missing_from_an_older_sender_get_their_defaults():
-    assert NEW.decode(OLD.encode(Ping(3, "x"))).ok == PingWithNewField(3, "x", 0)
+    assert NEW.decode(OLDER_REGISTRY.encode(Ping(3, "x"))).ok == PingWithNewField(
+        3, "x", 0
+    )
 
 
 def test_invalid_messages_return_their_error_code():
@@ -45,13 +49,13 @@
         b"\x01\x00\x01\x90": "message-body",
         b"\x01\x00\x01\x91\xa1x": "message-body",
     }
-    seen = {data: OLD.decode(data).error.code for data in cases}
+    seen = {data: OLDER_REGISTRY.decode(data).error.code for data in cases}
     assert seen == cases
 
 
 @given(st.binary(max_size=64))
 def test_arbitrary_bytes_never_crash_the_decoder(data):
-    assert OLD.decode(data).is_ok() or OLD.decode(data).is_error()
+    assert OLDER_REGISTRY.decode(data).is_ok() or OLDER_REGISTRY.decode(data).is_error()
 
 
 def test_duplicate_kinds_and_types_are_rejected():
