Rename NEW to NEWER_REGISTRY

The constant is the registry of the newer version.

Rename: libs/core/tests/test_codec.py NEW NEWER_REGISTRY

--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -21,7 +21,7 @@
 
 
 OLDER_REGISTRY = registry({1: Ping})
-NEW = registry({1: PingWithNewField})
+NEWER_REGISTRY = registry({1: PingWithNewField})
 
 
 def test_message_round_trip():
@@ -29,15 +29,15 @@
 
 
 def test_additional_fields_of_a_newer_sender_are_ignored():
-    assert OLDER_REGISTRY.decode(NEW.encode(PingWithNewField(3, "x", 9))).ok == Ping(
-        3, "x"
-    )
+    assert OLDER_REGISTRY.decode(
+        NEWER_REGISTRY.encode(PingWithNewField(3, "x", 9))
+    ).ok == Ping(3, "x")
 
 
 def test_fields_missing_from_an_older_sender_get_their_defaults():
-    assert NEW.decode(OLDER_REGISTRY.encode(Ping(3, "x"))).ok == PingWithNewField(
-        3, "x", 0
-    )
+    assert NEWER_REGISTRY.decode(
+        OLDER_REGISTRY.encode(Ping(3, "x"))
+    ).ok == PingWithNewField(3, "x", 0)
 
 
 def test_invalid_messages_return_their_error_code():
