Rename cases to expected_codes

The table maps data to the expected error code.

Rename: libs/core/tests/test_codec.py cases expected_codes

--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -41,7 +41,7 @@
 
 
 def test_invalid_messages_return_their_error_code():
-    cases = {
+    expected_codes = {
         b"": "message-short",
         b"\x09\x00\x01\x90": "message-version",
         b"\x01\x00\x63\x90": "message-kind",
@@ -49,8 +49,8 @@
         b"\x01\x00\x01\x90": "message-body",
         b"\x01\x00\x01\x91\xa1x": "message-body",
     }
-    seen = {data: OLDER_REGISTRY.decode(data).error.code for data in cases}
-    assert seen == cases
+    seen = {data: OLDER_REGISTRY.decode(data).error.code for data in expected_codes}
+    assert seen == expected_codes
 
 
 @given(st.binary(max_size=64))
