--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -49,8 +49,10 @@
         b"\x01\x00\x01\x90": "message-body",
         b"\x01\x00\x01\x91\xa1x": "message-body",
     }
-    seen = {data: OLDER_REGISTRY.decode(data).error.code for data in expected_codes}
-    assert seen == expected_codes
+    actual_codes = {
+        data: OLDER_REGISTRY.decode(data).error.code for data in expected_codes
+    }
+    assert actual_codes == expected_codes
 
 
 @given(st.binary(max_size=64))
