Rename test_values_with_blanks_are_quoted to test_values_with_spaces_are_quoted

The character is a space.

Rename: libs/core/tests/test_decisions.py test_values_with_blanks_are_quoted test_values_with_spaces_are_quoted

--- a/libs/core/tests/test_decisions.py
+++ b/libs/core/tests/test_decisions.py
@@ -3,7 +3,7 @@
 from kumquatmux_core.decisions import format_decision
 
 
-def test_values_with_blanks_are_quoted():
+def test_values_with_spaces_are_quoted():
     line = format_decision("place", {"flow": "a", "why": "no slot"})
     assert line == 'place flow=a why="no slot"'
 
