Rename test_json_lines_carry_the_event to test_json_lines_include_the_event

Lines include a field.

Rename: libs/core/tests/test_decisions.py test_json_lines_carry_the_event test_json_lines_include_the_event

--- a/libs/core/tests/test_decisions.py
+++ b/libs/core/tests/test_decisions.py
@@ -8,6 +8,6 @@
     assert line == 'place flow=a why="no slot"'
 
 
-def test_json_lines_carry_the_event():
+def test_json_lines_include_the_event():
     line = format_decision("place", {"flow": "a"}, as_json=True)
     assert line == '{"event": "place", "flow": "a"}'
