Rename test_a_line_holds_time_event_vm_and_fields to test_line_includes_time_event_vm_and_fields

Lines include fields.

Rename: libs/core/tests/test_lines.py test_a_line_holds_time_event_vm_and_fields test_line_includes_time_event_vm_and_fields

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -21,7 +21,7 @@
     return [json.loads(line) for line in os.read(reading, 1 << 20).splitlines()]
 
 
-def test_a_line_holds_time_event_vm_and_fields(pipe):
+def test_line_includes_time_event_vm_and_fields(pipe):
     reading, writing = pipe
     lines = LineWriter(LineSettings(writing), "e1")
     lines.tick(3.25)
