Rename test_lines_of_one_kind_beyond_their_limit_are_counted_and_told to test_lines_above_the_rate_limit_are_counted_and_reported

The name says which limit applies.

Rename: libs/core/tests/test_lines.py test_lines_of_one_kind_beyond_their_limit_are_counted_and_told test_lines_above_the_rate_limit_are_counted_and_reported

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -38,7 +38,7 @@
     ]
 
 
-def test_lines_of_one_kind_beyond_their_limit_are_counted_and_told(pipe):
+def test_lines_above_the_rate_limit_are_counted_and_reported(pipe):
     reading, writing = pipe
     lines = LineWriter(LineSettings(writing, lines_per_s=2), "e1")
     lines.tick(1.0)
