Rename test_a_stream_that_takes_nothing_never_blocks_and_bounds_what_waits to test_full_stream_never_blocks_and_the_buffer_stays_bounded

The name says what is bounded.

Rename: libs/core/tests/test_lines.py test_a_stream_that_takes_nothing_never_blocks_and_bounds_what_waits test_full_stream_never_blocks_and_the_buffer_stays_bounded

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -51,7 +51,7 @@
     assert lines.dropped["noise"] == 3
 
 
-def test_a_stream_that_takes_nothing_never_blocks_and_bounds_what_waits(pipe):
+def test_full_stream_never_blocks_and_the_buffer_stays_bounded(pipe):
     _, writing = pipe
     settings = LineSettings(writing, waiting_lines=50, lines_per_s=100_000)
     lines = LineWriter(settings, "e1")
