Rename test_a_stream_that_is_gone_is_survived to test_write_to_a_closed_stream_is_counted_as_failed

The name says what happens.

Rename: libs/core/tests/test_lines.py test_a_stream_that_is_gone_is_survived test_write_to_a_closed_stream_is_counted_as_failed

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -64,7 +64,7 @@
     assert lines.dropped["stream-slow"] > 0
 
 
-def test_a_stream_that_is_gone_is_survived():
+def test_write_to_a_closed_stream_is_counted_as_failed():
     reading, writing = os.pipe()
     os.close(reading)
     lines = LineWriter(LineSettings(writing), "e1")
