Rename reading to read_fd

The local is the file descriptor of the read end.

Rename: libs/core/tests/test_lines.py reading read_fd

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -10,10 +10,10 @@
 
 @pytest.fixture
 def pipe():
-    reading, writing = os.pipe()
-    os.set_blocking(reading, False)
-    yield reading, writing
-    os.close(reading)
+    read_fd, writing = os.pipe()
+    os.set_blocking(read_fd, False)
+    yield read_fd, writing
+    os.close(read_fd)
     os.close(writing)
 
 
