Rename writing to write_fd

The local is the file descriptor of the write end.

Rename: libs/core/tests/test_lines.py writing write_fd

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -10,11 +10,11 @@
 
 @pytest.fixture
 def pipe():
-    read_fd, writing = os.pipe()
+    read_fd, write_fd = os.pipe()
     os.set_blocking(read_fd, False)
-    yield read_fd, writing
+    yield read_fd, write_fd
     os.close(read_fd)
-    os.close(writing)
+    os.close(write_fd)
 
 
 def read_lines(reading):
