Rename test_losing_the_first_promotes_the_second to test_removing_the_first_member_keeps_the_order_of_the_others

The test checks the order of the remaining members.

Rename: libs/core/tests/test_rendezvous.py test_losing_the_first_promotes_the_second test_removing_the_first_member_keeps_the_order_of_the_others

--- a/libs/core/tests/test_rendezvous.py
+++ b/libs/core/tests/test_rendezvous.py
@@ -9,7 +9,7 @@
 
 
 @given(st.binary(max_size=16), MEMBERS)
-def test_losing_the_first_promotes_the_second(key, members):
+def test_removing_the_first_member_keeps_the_order_of_the_others(key, members):
     order = rank(key, members)
     assert rank(key, members - {order[0]}) == order[1:]
 
