Rename test_first_agrees_with_rank to test_first_choice_equals_the_first_ranked_member

The name says what is compared.

Rename: libs/core/tests/test_rendezvous.py test_first_agrees_with_rank test_first_choice_equals_the_first_ranked_member

--- a/libs/core/tests/test_rendezvous.py
+++ b/libs/core/tests/test_rendezvous.py
@@ -15,7 +15,7 @@
 
 
 @given(st.binary(max_size=16), MEMBERS)
-def test_first_agrees_with_rank(key, members):
+def test_first_choice_equals_the_first_ranked_member(key, members):
     assert first(key, members) == rank(key, members)[0]
 
 
