Rename test_no_members_has_no_first to test_no_first_choice_without_members

The name is a plain phrase.

Rename: libs/core/tests/test_rendezvous.py test_no_members_has_no_first test_no_first_choice_without_members

--- a/libs/core/tests/test_rendezvous.py
+++ b/libs/core/tests/test_rendezvous.py
@@ -19,5 +19,5 @@
     assert first(key, members) == rank(key, members)[0]
 
 
-def test_no_members_has_no_first():
+def test_no_first_choice_without_members():
     assert first(b"k", []) is None
