Follow the renames in the texts of libs/core and libs/packets

The attribute names in doc comments and two keyword arguments in a test still had the old names; they now follow. A few texts are more exact. Behaviour is unchanged.

--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -13,9 +13,9 @@
     """Output file descriptor and limits of a line writer.
 
     Attributes:
-        file: File descriptor to write to.
-        waiting_lines: Maximum number of buffered lines.
-        lines_per_s: Maximum number of lines per second for one event name. Further
+        file_descriptor: File descriptor to write to.
+        max_buffered_lines: Maximum number of buffered lines.
+        max_lines_per_s: Maximum number of lines per second for one event name. Further
             lines are dropped and counted.
     """
 
@@ -30,14 +30,14 @@
     Attributes:
         settings: Output file descriptor and limits.
         vm: Name of this VM, included in each line.
-        waiting: Encoded lines in the buffer.
-        rest: Bytes of earlier batches that the stream has not yet accepted.
+        buffered: Encoded lines in the buffer.
+        unwritten: Bytes of earlier batches that the stream has not yet accepted.
         dropped: Number of dropped lines by event name. Stream errors are counted
             here as ``blocking-stream``, ``stream-failed`` and ``stream-slow``.
-        told: Values of ``dropped`` when they were last reported.
-        written: Number of lines passed to a write.
-        in_second: Number of lines added in the current second, by event name.
-        second: Current whole second of the monotonic clock.
+        reported: Values of ``dropped`` when they were last reported.
+        written_lines: Number of lines removed from the buffer for writing.
+        lines_this_second: Number of lines added in the current second, by event name.
+        current_second: Current whole second of the monotonic clock.
         now: Time of the last tick, in monotonic seconds.
     """
 
--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -40,7 +40,7 @@
 
 def test_lines_above_the_rate_limit_are_counted_and_reported(pipe):
     reading, writing = pipe
-    lines = LineWriter(LineSettings(writing, lines_per_s=2), "e1")
+    lines = LineWriter(LineSettings(writing, max_lines_per_s=2), "e1")
     lines.tick(1.0)
     for _ in range(5):
         lines.put("noise", {})
@@ -53,7 +53,7 @@
 
 def test_full_stream_never_blocks_and_the_buffer_stays_bounded(pipe):
     _, writing = pipe
-    settings = LineSettings(writing, waiting_lines=50, lines_per_s=100_000)
+    settings = LineSettings(writing, max_buffered_lines=50, max_lines_per_s=100_000)
     lines = LineWriter(settings, "e1")
     lines.tick(1.0)
     for _ in range(4000):
--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -60,7 +60,10 @@
     """Authenticate and decode an envelope, or return why it is refused."""
     if len(data) < HEADER_AND_DIGEST_BYTES or data[0] != MARK:
         return Error(
-            Problem("envelope-short", f"envelope of {len(data)} bytes is malformed")
+            Problem(
+                "envelope-short",
+                f"envelope of {len(data)} bytes is too short or malformed",
+            )
         )
     _, version, fields_bytes = HEADER_STRUCT.unpack_from(data)
     if version != ENVELOPE_VERSION:
--- a/libs/packets/src/kumquatmux_packets/layout.py
+++ b/libs/packets/src/kumquatmux_packets/layout.py
@@ -13,6 +13,7 @@
 
 TOTAL_LENGTH = 2
 FLAGS_AND_FRAGMENT_OFFSET = 6
+# The mask covers the more-fragments flag and the fragment offset.
 FRAGMENT_MASK = 0x3FFF
 PROTOCOL = 9
 IP_CHECKSUM = 10
