Rename changed to rewritten

The local is the rewritten packet.

Rename: libs/packets/src/kumquatmux_packets/rewriting.py changed rewritten

--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -51,11 +51,11 @@
 
 def rewrite_source(packet: bytes, rewrite: Rewrite) -> bytearray:
     """Return a copy of a packet with its source IP address and port replaced."""
-    changed = bytearray(packet)
-    changed[12:16] = rewrite.ip
-    changed[20:22] = rewrite.port
-    _update_checksums(changed, rewrite)
-    return changed
+    rewritten = bytearray(packet)
+    rewritten[12:16] = rewrite.ip
+    rewritten[20:22] = rewrite.port
+    _update_checksums(rewritten, rewrite)
+    return rewritten
 
 
 def _update_checksums(packet: bytearray, rewrite: Rewrite) -> None:
