--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -24,7 +24,7 @@
 
     ip: bytes
     port: bytes
-    ip_difference: int
+    ip_checksum_difference: int
     transport_difference: int
 
 
@@ -59,7 +59,9 @@
 
 
 def _update_checksums(packet: bytearray, rewrite: Rewrite) -> None:
-    total = (~(packet[10] << 8 | packet[11]) & WORD_MASK) + rewrite.ip_difference
+    total = (
+        ~(packet[10] << 8 | packet[11]) & WORD_MASK
+    ) + rewrite.ip_checksum_difference
     total = ~((total & WORD_MASK) + (total >> 16)) & WORD_MASK
     packet[10] = total >> 8
     packet[11] = total & 0xFF
