--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -25,7 +25,7 @@
     ip: bytes
     port: bytes
     ip_checksum_difference: int
-    transport_difference: int
+    transport_checksum_difference: int
 
 
 def plan_rewrite(old: Address, new: Address) -> Rewrite:
@@ -73,7 +73,7 @@
         old_checksum = packet[checksum_offset] << 8 | packet[checksum_offset + 1]
         if old_checksum == 0:
             return
-    total = (~old_checksum & WORD_MASK) + rewrite.transport_difference
+    total = (~old_checksum & WORD_MASK) + rewrite.transport_checksum_difference
     total = ~((total & WORD_MASK) + (total >> 16)) & WORD_MASK
     if total == 0 and checksum_offset == layout.UDP_CHECKSUM:
         total = WORD_MASK
