--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -65,12 +65,12 @@
                 f"envelope of {len(data)} bytes is too short or malformed",
             )
         )
-    _, version, fields_bytes = HEADER_STRUCT.unpack_from(data)
+    _, version, fields_length = HEADER_STRUCT.unpack_from(data)
     if version != ENVELOPE_VERSION:
         return Error(
             Problem("envelope-version", f"unsupported envelope version {version}")
         )
-    packet_offset = HEADER_AND_DIGEST_BYTES + fields_bytes
+    packet_offset = HEADER_AND_DIGEST_BYTES + fields_length
     fields = data[HEADER_AND_DIGEST_BYTES:packet_offset]
     packet = data[packet_offset:]
     digest = _compute_digest(data[: HEADER_STRUCT.size], fields, packet, key)
