Rename length to segment_length

The local is the segment length in sequence numbers (RFC 9293).

Rename: libs/packets/src/kumquatmux_packets/answers.py length segment_length

--- a/libs/packets/src/kumquatmux_packets/answers.py
+++ b/libs/packets/src/kumquatmux_packets/answers.py
@@ -79,10 +79,12 @@
     if segment.flags & FLAG_ACK:
         flags, seq, ack = dpkt.tcp.TH_RST, segment.ack, 0
     else:
-        length = segment.payload_length
-        length += bool(segment.flags & FLAG_SYN) + bool(segment.flags & FLAG_FIN)
+        segment_length = segment.payload_length
+        segment_length += bool(segment.flags & FLAG_SYN) + bool(
+            segment.flags & FLAG_FIN
+        )
         flags = dpkt.tcp.TH_RST | dpkt.tcp.TH_ACK
-        seq, ack = 0, segment.seq + length & SEQ_MASK
+        seq, ack = 0, segment.seq + segment_length & SEQ_MASK
     return _build_tcp_packet(
         source=service_address(segment.key),
         destination=caller_address(segment.key),
