--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -87,8 +87,8 @@
 VALID_PACKET = tcp_packet(CALLER, SERVICE)
 
 
-def with_byte(at, value, packet=VALID_PACKET):
-    return packet[:at] + bytes([value]) + packet[at + 1 :]
+def with_byte(offset, value, packet=VALID_PACKET):
+    return packet[:offset] + bytes([value]) + packet[offset + 1 :]
 
 
 @pytest.mark.parametrize(
