--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -160,9 +160,9 @@
 
 
 @given(st.integers(0, envelope.HEADER_AND_DIGEST_BYTES + 39), st.integers(1, 255))
-def test_modified_envelope_is_refused(at, difference):
+def test_modified_envelope_is_refused(offset, difference):
     encapsulated = bytearray(envelope.seal(Passing(Stage.STORE), VALID_PACKET, key=KEY))
-    encapsulated[at] ^= difference
+    encapsulated[offset] ^= difference
     assert envelope.unseal(bytes(encapsulated), key=KEY).is_error()
 
 
