Rename reading to read_fd

The parameter is the file descriptor of the read end.

Rename: libs/core/tests/test_lines.py reading read_fd

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -17,8 +17,8 @@
     os.close(write_fd)
 
 
-def read_lines(reading):
-    return [json.loads(line) for line in os.read(reading, 1 << 20).splitlines()]
+def read_lines(read_fd):
+    return [json.loads(line) for line in os.read(read_fd, 1 << 20).splitlines()]
 
 
 def test_line_includes_time_event_vm_and_fields(pipe):
