--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -17,8 +17,8 @@
     Attributes:
         ip: The new IP address, 4 bytes.
         port: The new port, 2 bytes.
-        ip_difference: Amount to add to the one's complement sum of the IP header.
-        transport_difference: Amount to add to the one's complement sum of the TCP
+        ip_checksum_difference: Amount to add to the one's complement sum of the IP header.
+        transport_checksum_difference: Amount to add to the one's complement sum of the TCP
             segment or UDP datagram.
     """
 
