Rename reading to read_fd

The local is the file descriptor of the read end.

Rename: libs/core/tests/test_lines.py reading read_fd

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -22,12 +22,12 @@
 
 
 def test_line_includes_time_event_vm_and_fields(pipe):
-    reading, writing = pipe
+    read_fd, writing = pipe
     lines = LineWriter(LineSettings(writing), "e1")
     lines.tick(3.25)
     lines.put("flow-placed", {"token": 7, "server": ("i-1", 2)})
     lines.flush()
-    assert read_lines(reading) == [
+    assert read_lines(read_fd) == [
         {
             "t": 3.25,
             "event": "flow-placed",
