Rename reading to read_fd

The local is the file descriptor of the read end.

Rename: libs/core/tests/test_lines.py reading read_fd

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -39,14 +39,14 @@
 
 
 def test_lines_above_the_rate_limit_are_counted_and_reported(pipe):
-    reading, writing = pipe
+    read_fd, writing = pipe
     lines = LineWriter(LineSettings(writing, max_lines_per_s=2), "e1")
     lines.tick(1.0)
     for _ in range(5):
         lines.put("noise", {})
     lines.put("signal", {})
     lines.tick(2.0)
-    events = [line["event"] for line in read_lines(reading)]
+    events = [line["event"] for line in read_lines(read_fd)]
     assert events == ["noise", "noise", "signal", "lines-dropped"]
     assert lines.dropped["noise"] == 3
 
