Rename writing to write_fd

The local is the file descriptor of the write end.

Rename: libs/core/tests/test_lines.py writing write_fd

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -39,8 +39,8 @@
 
 
 def test_lines_above_the_rate_limit_are_counted_and_reported(pipe):
-    read_fd, writing = pipe
-    lines = LineWriter(LineSettings(writing, max_lines_per_s=2), "e1")
+    read_fd, write_fd = pipe
+    lines = LineWriter(LineSettings(write_fd, max_lines_per_s=2), "e1")
     lines.tick(1.0)
     for _ in range(5):
         lines.put("noise", {})
