Rename writing to write_fd

The local is the file descriptor of the write end.

Rename: libs/core/tests/test_lines.py writing write_fd

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -52,8 +52,8 @@
 
 
 def test_full_stream_never_blocks_and_the_buffer_stays_bounded(pipe):
-    _, writing = pipe
-    settings = LineSettings(writing, max_buffered_lines=50, max_lines_per_s=100_000)
+    _, write_fd = pipe
+    settings = LineSettings(write_fd, max_buffered_lines=50, max_lines_per_s=100_000)
     lines = LineWriter(settings, "e1")
     lines.tick(1.0)
     for _ in range(4000):
