Rename reading to read_fd

The local is the file descriptor of the read end.

Rename: libs/core/tests/test_lines.py reading read_fd

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -65,8 +65,8 @@
 
 
 def test_write_to_a_closed_stream_is_counted_as_failed():
-    reading, writing = os.pipe()
-    os.close(reading)
+    read_fd, writing = os.pipe()
+    os.close(read_fd)
     lines = LineWriter(LineSettings(writing), "e1")
     lines.put("noise", {})
     lines.flush()
