Rename writing to write_fd

The local is the file descriptor of the write end.

Rename: libs/core/tests/test_lines.py writing write_fd

--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -65,10 +65,10 @@
 
 
 def test_write_to_a_closed_stream_is_counted_as_failed():
-    read_fd, writing = os.pipe()
+    read_fd, write_fd = os.pipe()
     os.close(read_fd)
-    lines = LineWriter(LineSettings(writing), "e1")
+    lines = LineWriter(LineSettings(write_fd), "e1")
     lines.put("noise", {})
     lines.flush()
     assert lines.dropped["stream-failed"] == 1
-    os.close(writing)
+    os.close(write_fd)
