--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -23,10 +23,10 @@
 
 def test_line_includes_time_event_vm_and_fields(pipe):
     read_fd, write_fd = pipe
-    lines = LineWriter(LineSettings(write_fd), "e1")
-    lines.tick(3.25)
-    lines.put("flow-placed", {"token": 7, "server": ("i-1", 2)})
-    lines.flush()
+    writer = LineWriter(LineSettings(write_fd), "e1")
+    writer.tick(3.25)
+    writer.put("flow-placed", {"token": 7, "server": ("i-1", 2)})
+    writer.flush()
     assert read_lines(read_fd) == [
         {
             "t": 3.25,
