--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -40,15 +40,15 @@
 
 def test_lines_above_the_rate_limit_are_counted_and_reported(pipe):
     read_fd, write_fd = pipe
-    lines = LineWriter(LineSettings(write_fd, max_lines_per_s=2), "e1")
-    lines.tick(1.0)
+    writer = LineWriter(LineSettings(write_fd, max_lines_per_s=2), "e1")
+    writer.tick(1.0)
     for _ in range(5):
-        lines.put("noise", {})
-    lines.put("signal", {})
-    lines.tick(2.0)
+        writer.put("noise", {})
+    writer.put("signal", {})
+    writer.tick(2.0)
     events = [line["event"] for line in read_lines(read_fd)]
     assert events == ["noise", "noise", "signal", "lines-dropped"]
-    assert lines.dropped["noise"] == 3
+    assert writer.dropped["noise"] == 3
 
 
 def test_full_stream_never_blocks_and_the_buffer_stays_bounded(pipe):
