--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -54,14 +54,14 @@
 def test_full_stream_never_blocks_and_the_buffer_stays_bounded(pipe):
     _, write_fd = pipe
     settings = LineSettings(write_fd, max_buffered_lines=50, max_lines_per_s=100_000)
-    lines = LineWriter(settings, "e1")
-    lines.tick(1.0)
+    writer = LineWriter(settings, "e1")
+    writer.tick(1.0)
     for _ in range(4000):
-        lines.put("noise", {"text": "x" * 200})
-        lines.flush()
-    assert len(lines.buffered) <= 50
-    assert len(lines.unwritten) <= 50 * 256 + 300
-    assert lines.dropped["stream-slow"] > 0
+        writer.put("noise", {"text": "x" * 200})
+        writer.flush()
+    assert len(writer.buffered) <= 50
+    assert len(writer.unwritten) <= 50 * 256 + 300
+    assert writer.dropped["stream-slow"] > 0
 
 
 def test_write_to_a_closed_stream_is_counted_as_failed():
