--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -67,8 +67,8 @@
 def test_write_to_a_closed_stream_is_counted_as_failed():
     read_fd, write_fd = os.pipe()
     os.close(read_fd)
-    lines = LineWriter(LineSettings(write_fd), "e1")
-    lines.put("noise", {})
-    lines.flush()
-    assert lines.dropped["stream-failed"] == 1
+    writer = LineWriter(LineSettings(write_fd), "e1")
+    writer.put("noise", {})
+    writer.flush()
+    assert writer.dropped["stream-failed"] == 1
     os.close(write_fd)
