--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -17,9 +17,10 @@
     Attributes:
         ip: The new IP address, 4 bytes.
         port: The new port, 2 bytes.
-        ip_checksum_difference: Amount to add to the one's complement sum of the IP header.
-        transport_checksum_difference: Amount to add to the one's complement sum of the TCP
-            segment or UDP datagram.
+        ip_checksum_difference: Amount to add to the one's complement sum of the IP
+            header.
+        transport_checksum_difference: Amount to add to the one's complement sum of the
+            TCP segment or UDP datagram.
     """
 
     ip: bytes
@@ -35,8 +36,8 @@
     return Rewrite(
         ip=bytes(new[:4]),
         port=bytes(new[4:]),
-        ip_difference=ip_difference,
-        transport_difference=_fold_carries(ip_difference + port_difference),
+        ip_checksum_difference=ip_difference,
+        transport_checksum_difference=_fold_carries(ip_difference + port_difference),
     )
 
 
