--- a/libs/core/src/kumquatmux_core/identity.py
+++ b/libs/core/src/kumquatmux_core/identity.py
@@ -50,8 +50,8 @@
 
 def unpack_endpoint(address: Address) -> Endpoint:
     """Convert a 6-byte address to an endpoint."""
-    ip = str(ipaddress.IPv4Address(address[:4]))
-    return Endpoint(ip, int.from_bytes(address[4:]))
+    ip_text = str(ipaddress.IPv4Address(address[:4]))
+    return Endpoint(ip_text, int.from_bytes(address[4:]))
 
 
 class Vm(NamedTuple):
