--- a/libs/packets/src/kumquatmux_packets/rewriting.py
+++ b/libs/packets/src/kumquatmux_packets/rewriting.py
@@ -67,19 +67,19 @@
     packet[10] = total >> 8
     packet[11] = total & 0xFF
     if packet[9] == PROTOCOL_TCP:
-        checksum_offset = layout.TCP_CHECKSUM
-        old_checksum = packet[checksum_offset] << 8 | packet[checksum_offset + 1]
+        offset = layout.TCP_CHECKSUM
+        old_checksum = packet[offset] << 8 | packet[offset + 1]
     else:
-        checksum_offset = layout.UDP_CHECKSUM
-        old_checksum = packet[checksum_offset] << 8 | packet[checksum_offset + 1]
+        offset = layout.UDP_CHECKSUM
+        old_checksum = packet[offset] << 8 | packet[offset + 1]
         if old_checksum == 0:
             return
     total = (~old_checksum & WORD_MASK) + rewrite.transport_checksum_difference
     total = ~((total & WORD_MASK) + (total >> 16)) & WORD_MASK
-    if total == 0 and checksum_offset == layout.UDP_CHECKSUM:
+    if total == 0 and offset == layout.UDP_CHECKSUM:
         total = WORD_MASK
-    packet[checksum_offset] = total >> 8
-    packet[checksum_offset + 1] = total & 0xFF
+    packet[offset] = total >> 8
+    packet[offset + 1] = total & 0xFF
 
 
 def _checksum_difference(old: bytes, new: bytes) -> int:
