--- a/libs/core/src/kumquatmux_core/decisions.py
+++ b/libs/core/src/kumquatmux_core/decisions.py
@@ -1,4 +1,4 @@
-"""One log line for each routing or placement decision."""
+"""Logging of routing and placement decisions, one line for each decision."""
 
 from __future__ import annotations
 
@@ -6,38 +6,43 @@
 from collections.abc import Callable
 from typing import Any
 
-Sink = Callable[[str, dict[str, Any]], None]
-"""Takes the name of a decision and its fields."""
+DecisionSink = Callable[[str, dict[str, Any]], None]
+"""Function that receives the event name and the fields of each logged decision."""
 
-_state: dict[str, Any] = {"json": False, "enabled": True, "sink": None}
+_config: dict[str, Any] = {"json": False, "enabled": True, "sink": None}
 
 
-def configure(*, as_json: bool, enabled: bool = True, sink: Sink | None = None) -> None:
-    """Choose the form of decision lines for this process.
+def configure(
+    *, as_json: bool, enabled: bool = True, sink: DecisionSink | None = None
+) -> None:
+    """Configure the logging of decisions in this process.
 
     Args:
-        as_json: Whether a line is a JSON object, with the usual sink.
-        enabled: Whether decisions are logged at all.
-        sink: What takes them instead of the process's absl log.
+        as_json: Whether the absl log receives JSON objects instead of ``key=value``
+            lines. A sink receives unformatted fields in either case.
+        enabled: Whether decisions are logged.
+        sink: Function that receives the decisions instead of the absl log.
     """
-    _state["json"] = as_json
-    _state["enabled"] = enabled
-    _state["sink"] = sink
+    _config["json"] = as_json
+    _config["enabled"] = enabled
+    _config["sink"] = sink
 
 
-def render(event: str, fields: dict[str, Any], *, as_json: bool = False) -> str:
-    """Return one decision as ``event key=value ...`` or as a JSON object."""
+def format_decision(
+    event: str, fields: dict[str, Any], *, as_json: bool = False
+) -> str:
+    """Format one decision as ``event key=value ...`` or as a JSON object."""
     if as_json:
         return json.dumps({"event": event, **fields}, default=str)
-    pairs = " ".join(f"{key}={_value(value)}" for key, value in fields.items())
+    pairs = " ".join(f"{key}={_format_value(value)}" for key, value in fields.items())
     return f"{event} {pairs}"
 
 
 def log(event: str, **fields: Any) -> None:
-    """Log one decision at info level."""
-    if not _state["enabled"]:
+    """Log one decision, to the sink if one is set, else to absl at info level."""
+    if not _config["enabled"]:
         return
-    sink = _state["sink"]
+    sink = _config["sink"]
     if sink is None:
         _log_with_absl(event, fields)
     else:
@@ -45,13 +50,13 @@
 
 
 def _log_with_absl(event: str, fields: dict[str, Any]) -> None:
-    # Imported here because processes with a sink of their own must start fast.
+    # Imported here so that processes that set a sink start faster.
     from absl import logging
 
-    logging.info("%s", render(event, fields, as_json=_state["json"]))
+    logging.info("%s", format_decision(event, fields, as_json=_config["json"]))
 
 
-def _value(value: Any) -> str:
+def _format_value(value: Any) -> str:
     text = str(value)
     if text == "" or any(character in text for character in ' ="\n'):
         return json.dumps(text)
--- a/libs/core/src/kumquatmux_core/latencies.py
+++ b/libs/core/src/kumquatmux_core/latencies.py
@@ -1,25 +1,32 @@
-"""Histograms of durations."""
+"""Latency histograms."""
 
 from __future__ import annotations
 
 from hdrh.histogram import HdrHistogram
 
-LOWEST_US = 1
-HIGHEST_US = 60_000_000
-DIGITS = 2
+MIN_LATENCY_US = 1
+MAX_LATENCY_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
 
 
 class Latencies:
-    """Histograms by name, in microseconds."""
+    """Latency histograms in microseconds, by name.
+
+    Attributes:
+        histograms: Histogram by name; the first recorded value creates it.
+    """
 
     def __init__(self) -> None:
         self.histograms: dict[str, HdrHistogram] = {}
 
     def record(self, name: str, seconds: float) -> None:
-        """Count one duration."""
+        """Record one duration in the named histogram, creating it if necessary.
+
+        Durations outside 1 microsecond to 60 seconds are clamped to this range.
+        """
         histogram = self.histograms.get(name)
         if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            histogram = HdrHistogram(MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
             self.histograms[name] = histogram
-        value = int(seconds * 1_000_000)
-        histogram.record_value(min(max(value, LOWEST_US), HIGHEST_US))
+        microseconds = int(seconds * 1_000_000)
+        histogram.record_value(min(max(microseconds, MIN_LATENCY_US), MAX_LATENCY_US))
--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -10,24 +10,24 @@
 
 @pytest.fixture
 def pipe():
-    reading, writing = os.pipe()
-    os.set_blocking(reading, False)
-    yield reading, writing
-    os.close(reading)
-    os.close(writing)
+    read_fd, write_fd = os.pipe()
+    os.set_blocking(read_fd, False)
+    yield read_fd, write_fd
+    os.close(read_fd)
+    os.close(write_fd)
 
 
-def read_lines(reading):
-    return [json.loads(line) for line in os.read(reading, 1 << 20).splitlines()]
+def read_lines(read_fd):
+    return [json.loads(line) for line in os.read(read_fd, 1 << 20).splitlines()]
 
 
-def test_a_line_holds_time_event_vm_and_fields(pipe):
-    reading, writing = pipe
-    lines = LineWriter(LineSettings(writing), "e1")
-    lines.tick(3.25)
-    lines.put("flow-placed", {"token": 7, "server": ("i-1", 2)})
-    lines.flush()
-    assert read_lines(reading) == [
+def test_line_includes_time_event_vm_and_fields(pipe):
+    read_fd, write_fd = pipe
+    writer = LineWriter(LineSettings(write_fd), "e1")
+    writer.tick(3.25)
+    writer.put("flow-placed", {"token": 7, "server": ("i-1", 2)})
+    writer.flush()
+    assert read_lines(read_fd) == [
         {
             "t": 3.25,
             "event": "flow-placed",
@@ -38,37 +38,37 @@
     ]
 
 
-def test_lines_of_one_kind_beyond_their_limit_are_counted_and_told(pipe):
-    reading, writing = pipe
-    lines = LineWriter(LineSettings(writing, lines_per_s=2), "e1")
-    lines.tick(1.0)
+def test_lines_above_the_rate_limit_are_counted_and_reported(pipe):
+    read_fd, write_fd = pipe
+    writer = LineWriter(LineSettings(write_fd, max_lines_per_s=2), "e1")
+    writer.tick(1.0)
     for _ in range(5):
-        lines.put("noise", {})
-    lines.put("signal", {})
-    lines.tick(2.0)
-    events = [line["event"] for line in read_lines(reading)]
+        writer.put("noise", {})
+    writer.put("signal", {})
+    writer.tick(2.0)
+    events = [line["event"] for line in read_lines(read_fd)]
     assert events == ["noise", "noise", "signal", "lines-dropped"]
-    assert lines.dropped["noise"] == 3
+    assert writer.dropped["noise"] == 3
 
 
-def test_a_stream_that_takes_nothing_never_blocks_and_bounds_what_waits(pipe):
-    _, writing = pipe
-    settings = LineSettings(writing, waiting_lines=50, lines_per_s=100_000)
-    lines = LineWriter(settings, "e1")
-    lines.tick(1.0)
+def test_full_stream_never_blocks_and_the_buffer_stays_bounded(pipe):
+    _, write_fd = pipe
+    settings = LineSettings(write_fd, max_buffered_lines=50, max_lines_per_s=100_000)
+    writer = LineWriter(settings, "e1")
+    writer.tick(1.0)
     for _ in range(4000):
-        lines.put("noise", {"text": "x" * 200})
-        lines.flush()
-    assert len(lines.waiting) <= 50
-    assert len(lines.rest) <= 50 * 256 + 300
-    assert lines.dropped["stream-slow"] > 0
+        writer.put("noise", {"text": "x" * 200})
+        writer.flush()
+    assert len(writer.buffered) <= 50
+    assert len(writer.unwritten) <= 50 * 256 + 300
+    assert writer.dropped["stream-slow"] > 0
 
 
-def test_a_stream_that_is_gone_is_survived():
-    reading, writing = os.pipe()
-    os.close(reading)
-    lines = LineWriter(LineSettings(writing), "e1")
-    lines.put("noise", {})
-    lines.flush()
-    assert lines.dropped["stream-failed"] == 1
-    os.close(writing)
+def test_write_to_a_closed_stream_is_counted_as_failed():
+    read_fd, write_fd = os.pipe()
+    os.close(read_fd)
+    writer = LineWriter(LineSettings(write_fd), "e1")
+    writer.put("noise", {})
+    writer.flush()
+    assert writer.dropped["stream-failed"] == 1
+    os.close(write_fd)
--- a/libs/core/tests/test_rendezvous.py
+++ b/libs/core/tests/test_rendezvous.py
@@ -9,15 +9,15 @@
 
 
 @given(st.binary(max_size=16), MEMBERS)
-def test_losing_the_first_promotes_the_second(key, members):
+def test_removing_the_first_member_keeps_the_order_of_the_others(key, members):
     order = rank(key, members)
     assert rank(key, members - {order[0]}) == order[1:]
 
 
 @given(st.binary(max_size=16), MEMBERS)
-def test_first_agrees_with_rank(key, members):
+def test_first_choice_equals_the_first_ranked_member(key, members):
     assert first(key, members) == rank(key, members)[0]
 
 
-def test_no_members_has_no_first():
+def test_no_first_choice_without_members():
     assert first(b"k", []) is None
--- a/libs/packets/src/kumquatmux_packets/envelope.py
+++ b/libs/packets/src/kumquatmux_packets/envelope.py
@@ -1,8 +1,9 @@
-"""The small header of a packet that one VM passes to another.
+"""Encapsulation of packets that one load balancer VM forwards to another.
 
-A packet from the fabric begins with the IPv4 version in its high four bits; an envelope
-begins with a byte that no IPv4 packet begins with. A short keyed digest over the header
-and the flow's fields shows that a VM of this deployment made it.
+The first byte of an IPv4 packet has the IP version in its high four bits. An envelope
+starts with a byte that no IPv4 packet starts with. An 8-byte keyed digest over the
+header, the metadata and the first 40 bytes of the packet authenticates the envelope
+as made by a VM of this deployment.
 """
 
 from __future__ import annotations
@@ -19,56 +20,74 @@
 from kumquatmux_flows.events import Passing
 
 MARK = 0xC1
-VERSION = 1
+ENVELOPE_VERSION = 1
 DIGEST_BYTES = 8
 AUTHENTICATED_PACKET_BYTES = 40
-HEADER = struct.Struct("!BBH")
-FIXED_BYTES = HEADER.size + DIGEST_BYTES
+HEADER_STRUCT = struct.Struct("!BBH")
+HEADER_AND_DIGEST_BYTES = HEADER_STRUCT.size + DIGEST_BYTES
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Passing)
 
 
-class Passed(NamedTuple):
-    """An envelope opened."""
+class DecodedEnvelope(NamedTuple):
+    """The contents of a decoded envelope.
+
+    Attributes:
+        passing: Metadata from the forwarding VM.
+        packet: The IPv4 packet.
+    """
 
     passing: Passing
     packet: bytes
 
 
 def seal(passing: Passing, packet: bytes, *, key: bytes) -> bytes:
-    """Return a packet in an envelope.
+    """Encapsulate a packet in an authenticated envelope.
 
     Args:
-        passing: What travels with it.
+        passing: Metadata for the receiving VM.
         packet: The IPv4 packet.
-        key: Secret shared by the VMs of the deployment, 16 to 32 bytes.
+        key: Secret key shared by the VMs of the deployment, 16 to 32 bytes.
     """
     fields = _encoder.encode(passing)
-    header = HEADER.pack(MARK, VERSION, len(fields))
-    digest = _digest(header, fields, packet, key)
+    header = HEADER_STRUCT.pack(MARK, ENVELOPE_VERSION, len(fields))
+    digest = _compute_digest(header, fields, packet, key)
     return b"".join((header, digest, fields, packet))
 
 
-def unseal(data: bytes, *, key: bytes) -> Result[Passed, Problem]:
-    """Return what an envelope carries, or why it is refused."""
-    if len(data) < FIXED_BYTES or data[0] != MARK:
-        return Error(Problem("envelope-short", f"envelope of {len(data)} bytes"))
-    _, version, fields_bytes = HEADER.unpack_from(data)
-    if version != VERSION:
-        return Error(Problem("envelope-version", f"envelope version {version}"))
-    packet_at = FIXED_BYTES + fields_bytes
-    fields = data[FIXED_BYTES:packet_at]
-    packet = data[packet_at:]
-    digest = _digest(data[: HEADER.size], fields, packet, key)
-    if not hmac.compare_digest(digest, data[HEADER.size : FIXED_BYTES]):
-        return Error(Problem("envelope-digest", "made with another key"))
+def unseal(data: bytes, *, key: bytes) -> Result[DecodedEnvelope, Problem]:
+    """Authenticate and decode an envelope, or return why it is refused."""
+    if len(data) < HEADER_AND_DIGEST_BYTES or data[0] != MARK:
+        return Error(
+            Problem(
+                "envelope-short",
+                f"envelope of {len(data)} bytes is too short or malformed",
+            )
+        )
+    _, version, fields_length = HEADER_STRUCT.unpack_from(data)
+    if version != ENVELOPE_VERSION:
+        return Error(
+            Problem("envelope-version", f"unsupported envelope version {version}")
+        )
+    packet_offset = HEADER_AND_DIGEST_BYTES + fields_length
+    fields = data[HEADER_AND_DIGEST_BYTES:packet_offset]
+    packet = data[packet_offset:]
+    digest = _compute_digest(data[: HEADER_STRUCT.size], fields, packet, key)
+    if not hmac.compare_digest(
+        digest, data[HEADER_STRUCT.size : HEADER_AND_DIGEST_BYTES]
+    ):
+        return Error(
+            Problem(
+                "envelope-digest", "digest mismatch: data changed or another key used"
+            )
+        )
     try:
-        return Ok(Passed(_decoder.decode(fields), packet))
+        return Ok(DecodedEnvelope(_decoder.decode(fields), packet))
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         return Error(Problem("envelope-fields", str(error)))
 
 
-def _digest(header: bytes, fields: bytes, packet: bytes, key: bytes) -> bytes:
-    signed = b"".join((header, fields, packet[:AUTHENTICATED_PACKET_BYTES]))
-    return hashlib.blake2s(signed, key=key, digest_size=DIGEST_BYTES).digest()
+def _compute_digest(header: bytes, fields: bytes, packet: bytes, key: bytes) -> bytes:
+    authenticated = b"".join((header, fields, packet[:AUTHENTICATED_PACKET_BYTES]))
+    return hashlib.blake2s(authenticated, key=key, digest_size=DIGEST_BYTES).digest()
--- a/libs/packets/tests/test_packets.py
+++ b/libs/packets/tests/test_packets.py
@@ -44,78 +44,80 @@
     return bytes(packet)
 
 
-def checksums_hold(packet):
-    """Tell whether dpkt, given no checksums, computes the ones in the packet."""
-    fresh = dpkt.ip.IP(packet)
-    fresh.sum = 0
-    fresh.data.sum = 0
-    return bytes(fresh) == bytes(packet)
+def has_valid_checksums(packet):
+    """Return whether the packet's checksums equal those that dpkt computes."""
+    recomputed = dpkt.ip.IP(packet)
+    recomputed.sum = 0
+    recomputed.data.sum = 0
+    return bytes(recomputed) == bytes(packet)
 
 
 @given(ENDPOINTS, ENDPOINTS, ENDPOINTS, st.binary(max_size=40))
-def test_rewriting_keeps_checksums_right(caller, service, server, payload):
+def test_rewriting_keeps_checksums_valid(caller, service, server, payload):
     for packet in (
         tcp_packet(caller, service, payload=payload),
         udp_packet(caller, service, payload),
     ):
-        changed = rewrite_target(packet, plan_rewrite(service.packed, server.packed))
-        assert reading.target_address(bytes(changed)) == server.packed
-        assert checksums_hold(bytes(changed))
-        changed = rewrite_source(packet, plan_rewrite(caller.packed, server.packed))
-        assert reading.source_address(bytes(changed)) == server.packed
-        assert checksums_hold(bytes(changed))
+        rewritten = rewrite_target(packet, plan_rewrite(service.packed, server.packed))
+        assert reading.target_address(bytes(rewritten)) == server.packed
+        assert has_valid_checksums(bytes(rewritten))
+        rewritten = rewrite_source(packet, plan_rewrite(caller.packed, server.packed))
+        assert reading.source_address(bytes(rewritten)) == server.packed
+        assert has_valid_checksums(bytes(rewritten))
 
 
-def test_a_udp_packet_without_checksum_stays_without():
+def test_rewriting_keeps_a_zero_udp_checksum():
     packet = bytearray(udp_packet(CALLER, SERVICE, b"x"))
     packet[26:28] = b"\0\0"
     rewrite = plan_rewrite(SERVICE.packed, SERVER.packed)
     assert rewrite_target(bytes(packet), rewrite)[26:28] == b"\0\0"
 
 
-def test_both_directions_give_one_key():
-    there = reading.read_caller(tcp_packet(CALLER, SERVICE, payload=b"abc")).ok
-    back = reading.read_reply(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
-    assert there.key == back.key
-    assert (there.seq, there.ack, there.payload_length) == (1, 2, 3)
-    assert answers.caller_address(there.key) == CALLER.packed
-    assert answers.service_address(there.key) == SERVICE.packed
+def test_both_directions_have_the_same_flow_key():
+    request = reading.parse_caller_packet(
+        tcp_packet(CALLER, SERVICE, payload=b"abc")
+    ).ok
+    reply = reading.parse_reply_packet(tcp_packet(SERVER, CALLER), SERVICE.packed).ok
+    assert request.key == reply.key
+    assert (request.seq, request.ack, request.payload_length) == (1, 2, 3)
+    assert answers.caller_address(request.key) == CALLER.packed
+    assert answers.service_address(request.key) == SERVICE.packed
 
 
-GOOD = tcp_packet(CALLER, SERVICE)
+VALID_PACKET = tcp_packet(CALLER, SERVICE)
 
 
-def changed_at(at, value, packet=GOOD):
-    return packet[:at] + bytes([value]) + packet[at + 1 :]
+def with_byte(offset, value, packet=VALID_PACKET):
+    return packet[:offset] + bytes([value]) + packet[offset + 1 :]
 
 
 @pytest.mark.parametrize(
     ("packet", "code"),
     [
         (b"", "packet-short"),
-        (GOOD[:39], "packet-length"),
-        (changed_at(0, 0x46), "packet-version"),
-        (changed_at(3, 99), "packet-length"),
-        (changed_at(6, 0x20), "packet-fragment"),
-        (changed_at(7, 0x01), "packet-fragment"),
-        (changed_at(9, 47), "packet-protocol"),
-        (changed_at(32, 0x10), "packet-tcp-offset"),
-        (changed_at(32, 0xF0), "packet-tcp-offset"),
-        (changed_at(25, 99, udp_packet(CALLER, SERVICE)), "packet-udp-length"),
+        (VALID_PACKET[:39], "packet-length"),
+        (with_byte(0, 0x46), "packet-version"),
+        (with_byte(3, 99), "packet-length"),
+        (with_byte(6, 0x20), "packet-fragment"),
+        (with_byte(7, 0x01), "packet-fragment"),
+        (with_byte(9, 47), "packet-protocol"),
+        (with_byte(32, 0x10), "packet-tcp-offset"),
+        (with_byte(32, 0xF0), "packet-tcp-offset"),
+        (with_byte(25, 99, udp_packet(CALLER, SERVICE)), "packet-udp-length"),
     ],
 )
-def test_malformed_packets_are_named(packet, code):
-    assert reading.read_caller(packet).error.code == code
+def test_malformed_packets_return_their_error_code(packet, code):
+    assert reading.parse_caller_packet(packet).error.code == code
 
 
 @given(st.binary(max_size=80))
-def test_no_bytes_crash_the_reader(data):
-    result = reading.read_caller(data)
+def test_arbitrary_bytes_never_crash_the_parser(data):
+    result = reading.parse_caller_packet(data)
     assert result.is_ok() or result.error.code.startswith("packet-")
 
 
-def test_a_refused_syn_gets_a_reset_its_caller_accepts():
-    segment = reading.read_caller(
+def test_refused_syn_is_answered_with_an_acceptable_reset():
+    segment = reading.parse_caller_packet(
         tcp_packet(CALLER, SERVICE, flags=FLAG_SYN, seq=0xFFFFFFFF, ack=0)
     ).ok
     reset = dpkt.ip.IP(answers.refuse_caller(segment))
@@ -124,15 +126,15 @@
     assert reset.src == SERVICE.packed[:4]
 
 
-def test_a_refused_segment_gets_a_reset_at_its_acknowledgement():
-    segment = reading.read_caller(tcp_packet(CALLER, SERVICE, ack=77)).ok
+def test_reset_of_a_segment_with_ack_uses_its_acknowledgement_number():
+    segment = reading.parse_caller_packet(tcp_packet(CALLER, SERVICE, ack=77)).ok
     reset = dpkt.ip.IP(answers.refuse_caller(segment))
     assert (reset.data.flags, reset.data.seq) == (dpkt.tcp.TH_RST, 77)
 
 
-def test_a_refused_datagram_gets_port_unreachable():
+def test_refused_datagram_is_answered_with_icmp_port_unreachable():
     packet = udp_packet(CALLER, SERVICE, b"hello")
-    answer = dpkt.ip.IP(answers.refuse_caller(reading.read_caller(packet).ok))
+    answer = dpkt.ip.IP(answers.refuse_caller(reading.parse_caller_packet(packet).ok))
     assert (answer.data.type, answer.data.code) == (3, 3)
     assert bytes(answer.data.data.data)[:28] == packet[:28]
 
@@ -152,18 +154,18 @@
 
 
 @given(PASSINGS)
-def test_an_envelope_survives_the_trip(passing):
-    opened = envelope.unseal(envelope.seal(passing, GOOD, key=KEY), key=KEY).ok
-    assert opened == envelope.Passed(passing, GOOD)
+def test_envelope_round_trip(passing):
+    decoded = envelope.unseal(envelope.seal(passing, VALID_PACKET, key=KEY), key=KEY).ok
+    assert decoded == envelope.DecodedEnvelope(passing, VALID_PACKET)
 
 
-@given(st.integers(0, envelope.FIXED_BYTES + 39), st.integers(1, 255))
-def test_a_changed_envelope_is_refused(at, difference):
-    sealed = bytearray(envelope.seal(Passing(Stage.STORE), GOOD, key=KEY))
-    sealed[at] ^= difference
-    assert envelope.unseal(bytes(sealed), key=KEY).is_error()
+@given(st.integers(0, envelope.HEADER_AND_DIGEST_BYTES + 39), st.integers(1, 255))
+def test_modified_envelope_is_refused(offset, difference):
+    encapsulated = bytearray(envelope.seal(Passing(Stage.STORE), VALID_PACKET, key=KEY))
+    encapsulated[offset] ^= difference
+    assert envelope.unseal(bytes(encapsulated), key=KEY).is_error()
 
 
 @given(st.binary(max_size=80))
-def test_no_bytes_crash_the_envelope(data):
+def test_arbitrary_bytes_are_refused_as_an_envelope(data):
     assert envelope.unseal(data, key=KEY).is_error()
