Reword the records, table and lookup doc comments of the registry

The doc comments used figurative or private words. They now name the operations and data in the usual technical terms; behaviour and names are unchanged.

--- a/libs/registry/src/kumquatmux_registry/lookup.py
+++ b/libs/registry/src/kumquatmux_registry/lookup.py
@@ -1,4 +1,4 @@
-"""Messages by which one VM asks others what a token stands for."""
+"""Messages that look up the backend server of a token at another VM."""
 
 from __future__ import annotations
 
@@ -9,18 +9,21 @@
 
 
 class TokenQuestion(NamedTuple):
-    """Ask which server a token stands for; who does not know says nothing."""
+    """Request for the server that a token identifies.
+
+    A VM that does not know the token sends no answer.
+    """
 
     sender: VmId
     token: int
 
 
 class TokenAnswer(NamedTuple):
-    """The server that a token stands for."""
+    """Answer with the record of the server that the token identifies."""
 
     sender: VmId
     record: ServerRecord
 
 
 MESSAGE_TYPES: dict[int, type] = {0x0603: TokenQuestion, 0x0604: TokenAnswer}
-"""Message types by kind, to be merged into the registry of a channel."""
+"""Message types by wire kind, for the message registry of a channel."""
--- a/libs/registry/src/kumquatmux_registry/records.py
+++ b/libs/registry/src/kumquatmux_registry/records.py
@@ -1,4 +1,4 @@
-"""What is known of one lifetime of a backend server."""
+"""Registry records of backend servers."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Phase(IntEnum):
-    """Where a backend server stands in its lifetime."""
+    """Lifecycle phase of a backend server."""
 
     READY = 0
     DRAINING = 1
@@ -19,40 +19,43 @@
 
 
 class Lifetime(NamedTuple):
-    """One start of a backend server, which knows nothing of the one before.
+    """One run of a backend server, from one start to the next.
+
+    A restarted server keeps no state of its previous lifetime.
 
     Attributes:
-        name: The name that the server goes by; a later start may use it again.
-        born_ms: Time of its start, in Unix milliseconds by the server's own clock.
+        name: Name of the server; a later lifetime may reuse it.
+        born_ms: Start time in Unix milliseconds, by the server's own clock.
     """
 
     name: str
     born_ms: int
 
     def __str__(self) -> str:
-        """Return ``name@born``."""
+        """Return ``name@born_ms``."""
         return f"{self.name}@{self.born_ms}"
 
     @property
     def token(self) -> int:
-        """32 bits that stand for this lifetime in a packet, never 0."""
+        """32-bit token that identifies this lifetime in a packet; never 0."""
         digest = xxhash.xxh3_64_intdigest(str(self).encode())
         return digest & 0xFFFFFFFF or 1
 
 
 class Report(NamedTuple):
-    """What a backend server says of itself.
+    """Status report that a backend server sends about itself.
 
     Attributes:
-        lifetime: Which start of which server speaks.
-        number: Grows with each report of a lifetime.
-        service: The service it serves.
-        endpoint: Where it takes packets.
-        zone: Its availability zone.
-        version: Version of its software.
-        slots: Requests it works on at once.
-        phase: ``READY`` or ``DRAINING``.
-        warm_up_s: Seconds for which it is still slow after its start.
+        lifetime: Lifetime of the server that sends the report.
+        number: Sequence number; increases with each report of a lifetime.
+        service: Service that the server provides.
+        endpoint: Address and port at which the server receives packets.
+        zone: Availability zone of the server.
+        version: Version of the server's software.
+        slots: Number of requests that the server processes at the same time.
+        phase: ``READY`` or ``DRAINING`` when reported by the server. The registry sets
+            ``ENDED`` when the lifetime is over.
+        warm_up_s: Remaining seconds of the warm-up during which the server is slow.
     """
 
     lifetime: Lifetime
@@ -67,13 +70,14 @@
 
 
 class ServerRecord(NamedTuple):
-    """A report together with who answers for its freshness.
+    """Latest report of a server and the control VM that holds its lease.
 
     Attributes:
         report: The latest report.
-        holder: The control VM that heard the server last.
-        doubts: Grows each time that a control VM doubts that the server is there,
-            and each time that its holder refutes that.
+        holder: Control VM that received the latest report from the server.
+        doubts: Suspicion counter. Incremented when a control VM suspects that the
+            server has failed and again when the holder refutes the suspicion, so an
+            odd value means that the server is suspected.
     """
 
     report: Report
@@ -82,21 +86,21 @@
 
     @property
     def is_late(self) -> bool:
-        """Whether its reports are missed: a doubt stands that nobody refuted."""
+        """Whether the server is suspected because its reports stopped arriving."""
         return self.doubts % 2 == 1
 
     @property
     def rank(self) -> tuple[int, int, bool, int]:
-        """What orders two records of one server name: the higher one holds."""
+        """Sort key for records of one server name; the highest rank is the newest."""
         report = self.report
         is_ended = report.phase == Phase.ENDED
         return (report.lifetime.born_ms, report.number, is_ended, self.doubts)
 
     def doubted(self) -> ServerRecord:
-        """Return the record with one more doubt, or with the doubt refuted."""
+        """Return a copy that suspects the server, or refutes the current suspicion."""
         return self._replace(doubts=self.doubts + 1)
 
     @property
     def token(self) -> int:
-        """The token of its lifetime."""
+        """Token of the server lifetime."""
         return self.report.lifetime.token
--- a/libs/registry/src/kumquatmux_registry/settings.py
+++ b/libs/registry/src/kumquatmux_registry/settings.py
@@ -6,16 +6,17 @@
 
 
 class RegistrySettings(NamedTuple):
-    """How long what is known of backend servers counts.
+    """Timeouts and the page size of the backend server registry.
 
     Attributes:
-        late_after_s: Seconds without a report after which the holder calls a server
-            late; some reports may be lost or sent to another VM first.
-        holder_silent_s: Seconds without a word of a holder after which its servers
-            count as late too, unless they report elsewhere.
-        forget_after_s: Seconds an ended server is remembered, longer than any
-            flow to it lasts.
-        page_records: Records in one answer of the feed, so that it stays small.
+        late_after_s: Seconds without a report after which the holder marks a server
+            as late. Allows for lost reports and reports sent to another VM.
+        holder_silent_s: Seconds without a message from a holder after which its
+            servers are marked as late too, unless they report to another VM.
+        forget_after_s: Seconds for which the record of an ended server is kept;
+            longer than any flow to the server lasts.
+        page_records: Maximum number of records in one feed answer, which limits the
+            size of the message.
     """
 
     late_after_s: float = 4.0
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -1,4 +1,4 @@
-"""The records of all backend servers, merged from any source in any order."""
+"""Table of all backend server records, merged from any source in any order."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 
 
 class Held(NamedTuple):
-    """A record and when it came.
+    """Table entry: a record and its latest change.
 
     Attributes:
-        record: The record.
-        position: Number of the change of this table that brought it.
-        changed_at: When, in seconds of the holder's steady clock.
+        record: Newest record of the server name.
+        position: Sequence number of the table change that stored the record.
+        changed_at: Time of that change, in seconds of this VM's monotonic clock.
     """
 
     record: ServerRecord
@@ -24,11 +24,12 @@
 
 
 class ServerTable:
-    """Records by server name; merging is idempotent and free of order.
+    """Server records by server name; merging is idempotent and commutative.
 
     Attributes:
-        held: The newest record of each server name.
-        position: Number of changes so far.
+        held: Entry with the newest record of each server name.
+        by_endpoint: Name of the server that last claimed each endpoint.
+        position: Sequence number of the latest change.
     """
 
     def __init__(self) -> None:
@@ -37,14 +38,14 @@
         self.position = 0
 
     def get(self, name: str) -> ServerRecord | None:
-        """Return the record of a server name."""
+        """Return the record of a server name, or None if there is none."""
         held = self.held.get(name)
         return held.record if held else None
 
     def merge(self, record: ServerRecord, now: float) -> list[ServerRecord]:
-        """Take a record if it is newer; return the records that changed.
+        """Store a record if it is newer; return the records that changed.
 
-        A newer lifetime at an address ends the older one that had the address.
+        If two servers claim one endpoint, the one that started earlier is ended.
         """
         name = record.report.lifetime.name
         known = self.get(name)
@@ -56,18 +57,18 @@
         return changed
 
     def renew(self, name: str, now: float) -> None:
-        """Tell of a server again, with any doubt about it refuted."""
+        """Store a record again as a new change, refuting any suspicion."""
         record = self.held[name].record
         self._put(record.doubted() if record.is_late else record, now)
 
     def after(self, position: int, limit: int) -> list[Held]:
-        """Return the oldest changes after a position, up to a limit."""
+        """Return the entries changed after a position, oldest first, up to a limit."""
         newer = [held for held in self.held.values() if held.position > position]
         newer.sort(key=lambda held: held.position)
         return newer[:limit]
 
     def forget(self, before: float) -> None:
-        """Drop ended servers whose end was noted before a time."""
+        """Remove ended servers whose record last changed before a time."""
         for name, held in list(self.held.items()):
             is_ended = held.record.report.phase == Phase.ENDED
             if is_ended and held.changed_at < before:
@@ -104,6 +105,6 @@
 
 
 def ended(record: ServerRecord) -> ServerRecord:
-    """Return a record that says that its lifetime is over."""
+    """Return a copy of a record with its lifetime marked as ended."""
     report = record.report._replace(phase=Phase.ENDED)
     return record._replace(report=report, doubts=0)
