Reword the lease and saved-file doc comments of the registry

The doc comments used figurative or private words. They now name the operations and data in the usual technical terms; behaviour and names are unchanged.

--- a/libs/registry/src/kumquatmux_registry/__init__.py
+++ b/libs/registry/src/kumquatmux_registry/__init__.py
@@ -1,3 +1,3 @@
-"""Leases of backend servers at control VMs and the feed that spreads them."""
+"""Registry of backend servers: leases held by control VMs, and their feed."""
 
 from __future__ import annotations
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -1,4 +1,4 @@
-"""Leases of the backend servers that report to one control VM."""
+"""Leases of backend servers, as tracked by one control VM."""
 
 from __future__ import annotations
 
@@ -15,13 +15,16 @@
 
 
 class Leases:
-    """Takes reports and calls servers late that stop reporting.
+    """Processes server reports and marks servers as late that stop reporting.
 
     Attributes:
-        me: This control VM.
-        table: All that is known of servers.
-        heard: When each server reported here last, in steady seconds.
-        holders: When each other control VM was heard last, in steady seconds.
+        settings: Timeouts of the registry.
+        me: Name of this control VM.
+        table: Records of all servers, including those that report to other VMs.
+        heard: Time of the latest report received here from each server name, in
+            seconds of the monotonic clock.
+        holders: Time of the latest message from each other control VM, in seconds of
+            the monotonic clock.
     """
 
     def __init__(self, settings: RegistrySettings, me: VmId) -> None:
@@ -32,11 +35,11 @@
         self.holders: dict[VmId, float] = {}
 
     def report(self, report: Report, now: float) -> Result[bool, Problem]:
-        """Take a report; return whether it is news to others.
+        """Process a report; return whether the other VMs must be told of the change.
 
         Errors:
-            ``other-server`` if a lifetime that is known suddenly serves another
-            service or stands at another address.
+            ``other-server`` if the service, endpoint or zone of a known lifetime
+            changed.
         """
         name = report.lifetime.name
         known = self.table.get(name)
@@ -60,7 +63,7 @@
         return Ok(False)
 
     def leave(self, name: str, now: float) -> bool:
-        """End the lifetime known by a name; return whether that is news."""
+        """End the current lifetime of a server; return whether the record changed."""
         known = self.table.get(name)
         if known is None or known.report.phase == Phase.ENDED:
             return False
@@ -68,7 +71,10 @@
         return bool(self.table.merge(ended(known), now))
 
     def merge(self, record: ServerRecord, now: float) -> bool:
-        """Take a record of another control VM; return whether it is news."""
+        """Merge a record from another control VM; return whether to push an update.
+
+        A suspicion about a server that reports to this VM is refuted.
+        """
         changed = bool(self.table.merge(record, now))
         if record.is_late and self._refutes(record, now):
             self.table.renew(record.report.lifetime.name, now)
@@ -76,11 +82,14 @@
         return changed
 
     def hear_holder(self, holder: VmId, now: float) -> None:
-        """Note that another control VM is there."""
+        """Record that a message from another control VM arrived."""
         self.holders[holder] = now
 
     def expire(self, now: float) -> bool:
-        """Call servers late whose reports stopped; return whether that is news."""
+        """Mark servers that stopped reporting as late; return whether any changed.
+
+        Also removes the records of servers that ended long ago.
+        """
         is_news = False
         for held in list(self.table.held.values()):
             record = held.record
@@ -92,7 +101,7 @@
         return is_news
 
     def _refutes(self, doubted: ServerRecord, now: float) -> bool:
-        """Return whether a doubted server reports here."""
+        """Return whether a suspected server has reported to this VM recently."""
         name = doubted.report.lifetime.name
         known = self.table.get(name)
         if known is None or known.report.lifetime != doubted.report.lifetime:
--- a/libs/registry/src/kumquatmux_registry/saved.py
+++ b/libs/registry/src/kumquatmux_registry/saved.py
@@ -1,7 +1,6 @@
-"""The records of backend servers in a file, so that a restart knows them at once.
+"""File with the records of all backend servers, loaded after a restart.
 
-The file is a help, not the truth: servers report again soon, and what cannot be read
-is left out.
+The file is only a cache: servers soon report again, so an unreadable file is ignored.
 """
 
 from __future__ import annotations
@@ -22,35 +21,36 @@
 
 
 class Files(Protocol):
-    """What is needed of a disk; every method may raise ``OSError``."""
+    """File operations required of a disk; every method may raise ``OSError``."""
 
     def names(self) -> list[str]:
         """Return the names of all files."""
 
     def read(self, name: str) -> bytes:
-        """Return a whole file."""
+        """Return the content of a file."""
 
     def replace(self, name: str, data: bytes) -> None:
-        """Overwrite a file from its start, which is made if it is missing."""
+        """Overwrite a file from its start, creating it if it is missing."""
 
     def sync(self, name: str) -> None:
-        """Make the content of a file last."""
+        """Flush the content of a file to stable storage."""
 
     def rename(self, old: str, new: str) -> None:
-        """Give a file another name, in place of a file that has it."""
+        """Rename a file, replacing any file that has the new name."""
 
 
 def encode(records: list[ServerRecord]) -> bytes:
-    """Return records as the content of a file."""
+    """Encode records as file content, preceded by a checksum."""
     data = msgspec.msgpack.encode(records)
     return xxhash.xxh3_64_digest(data) + data
 
 
 def decode(data: bytes) -> Result[list[ServerRecord], Problem]:
-    """Return the records in a file.
+    """Decode the records from the content of a file.
 
     Errors:
-        ``file-damaged`` if it was cut short, torn or written by another version.
+        ``file-damaged`` if the checksum does not match, as after a truncated or torn
+        write, or if another version wrote the records in another format.
     """
     body = data[CHECK_BYTES:]
     if xxhash.xxh3_64_digest(body) != data[:CHECK_BYTES]:
@@ -62,13 +62,13 @@
 
 
 class SavedServers:
-    """The file of records on one disk."""
+    """Loads and saves the server records on one disk."""
 
     def __init__(self, files: Files) -> None:
         self.files = files
 
     def load(self) -> list[ServerRecord]:
-        """Return what was saved, nothing if it cannot be read."""
+        """Return the saved records, or an empty list if they cannot be read."""
         try:
             if NAME not in self.files.names():
                 return []
@@ -82,7 +82,7 @@
         return decoded.ok
 
     def save(self, records: list[ServerRecord]) -> None:
-        """Save records; a disk that takes none is logged and otherwise ignored."""
+        """Save records atomically; a disk error is logged and otherwise ignored."""
         try:
             self.files.replace(TEMPORARY, encode(records))
             self.files.sync(TEMPORARY)
