Reword the feed doc comments of the registry

The doc comments used figurative or private words. They now name the operations and data in the usual technical terms; behaviour and names are unchanged.

--- a/libs/registry/src/kumquatmux_registry/feed.py
+++ b/libs/registry/src/kumquatmux_registry/feed.py
@@ -1,4 +1,4 @@
-"""Messages that spread records and the newest document from control VMs."""
+"""Feed messages: server records and the settings document from control VMs."""
 
 from __future__ import annotations
 
@@ -9,17 +9,19 @@
 
 
 class FeedPoll(NamedTuple):
-    """Ask a control VM for what is new; also tells that the sender is there.
+    """Request for updates from a control VM; also serves as a heartbeat of the sender.
 
     Attributes:
-        sender: Who asks.
-        zone: Its availability zone.
+        sender: VM that sends the poll.
+        zone: Availability zone of the sender.
         is_control: Whether the sender is a control VM itself.
-        incarnation: Process of the asked VM that ``position`` is of.
-        position: Change of its table up to which the sender knows all.
-        document: Number of the newest document that the sender holds.
-        wants_push: Whether news and documents are to be pushed to it.
-        is_stopping: Whether it ends soon, so that others rely on it no more.
+        incarnation: Identifier of the receiver's process that ``position`` refers to.
+        position: Change of the receiver's table up to which the sender has all changes.
+        document: Number of the newest settings document that the sender has.
+        wants_push: Whether the receiver should push changes and documents to the
+            sender.
+        is_stopping: Whether the sender is shutting down, so that it is no longer
+            listed among the entry VMs.
     """
 
     sender: VmId
@@ -33,20 +35,22 @@
 
 
 class FeedAnswer(NamedTuple):
-    """What is new at a control VM.
+    """Updates from a control VM, sent in answer to a poll or pushed.
 
     Attributes:
-        sender: Who answers.
-        zone: Its availability zone.
-        incarnation: Its process, made at random at each start.
-        since: Change after which the records begin.
-        position: Change up to which the records reach.
-        records: The records that changed, the oldest change first.
-        document: Number of the newest document it knows to be agreed.
-        content: That document, empty if the asker has it or did not want it.
-        control: The control VMs that it knows to be there, itself included.
-        entries: The entry VMs of the asker's zone that it knows to be there.
-        is_current: Whether it lately was in touch with a majority.
+        sender: Control VM that sends the answer.
+        zone: Availability zone of the sender.
+        incarnation: Identifier of the sender's process, chosen at random at its start.
+        since: Change number after which the records begin.
+        position: Change number up to which the receiver is then up to date.
+        records: Changed records, oldest change first.
+        document: Number of the newest committed settings document known to the sender.
+        content: Content of that document; empty if the receiver has it already, did
+            not ask for pushes, is a control VM or was sent a document too recently.
+        control: Live control VMs known to the sender, including itself.
+        entries: Live entry VMs in the receiver's zone; empty for a control VM.
+        is_current: Whether a consensus leader has recently confirmed that the sender's
+            replica is up to date.
     """
 
     sender: VmId
@@ -63,4 +67,4 @@
 
 
 MESSAGE_TYPES: dict[int, type] = {0x0601: FeedPoll, 0x0602: FeedAnswer}
-"""Message types by kind, to be merged into the registry of a channel."""
+"""Message types by wire kind, for the message registry of a channel."""
--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -1,4 +1,4 @@
-"""The side of the feed that asks: what one VM knows and from whom."""
+"""Polling side of the feed: a VM that follows several control VMs."""
 
 from __future__ import annotations
 
@@ -12,19 +12,22 @@
 
 
 class FollowerSettings(NamedTuple):
-    """Whom to follow and how closely.
+    """Settings of a feed follower.
 
     Attributes:
-        vm: This VM.
-        zone: Its availability zone.
-        is_control: Whether it is a control VM.
-        seeds: Control VMs to begin with.
-        silent_s: Seconds without an answer after which a control VM is not relied on.
-        forget_s: Seconds without an answer after which one that is no seed is
-            not asked any more.
-        outside: Other zones of which an entry VM follows a control VM.
-        page_records: Records a full answer carries; another poll follows at once.
-        ask_again_s: Seconds between polls for a document that an answer only named.
+        vm: Name of this VM.
+        zone: Availability zone of this VM.
+        is_control: Whether this VM is a control VM.
+        seeds: Initial control VMs, which are polled permanently.
+        silent_s: Seconds without an answer after which a control VM is considered
+            unavailable.
+        forget_s: Seconds without an answer after which a control VM that is not a seed
+            is removed.
+        outside: Maximum number of other zones in which an entry VM follows control VMs.
+        page_records: Number of records in a full answer; a full answer triggers another
+            poll at once.
+        ask_again_s: Minimum seconds between extra polls of one control VM for a
+            document whose number it announced without the content.
     """
 
     vm: VmId
@@ -39,16 +42,17 @@
 
 
 class Source:
-    """What is known of one control VM.
+    """State of one followed control VM.
 
     Attributes:
-        zone: Its zone, empty before its first answer.
-        incarnation: Its process as of its latest answer.
-        position: Change of its table up to which all is known here.
-        document: Newest document it knows of.
-        heard_at: When it answered last, in steady seconds.
-        is_current: Whether it was in touch with a majority then.
-        asked_at: When it was asked for a document that it had named.
+        zone: Availability zone of the control VM; empty before its first answer.
+        incarnation: Identifier of its process, from its latest answer.
+        position: Change of its table up to which this VM has received all changes.
+        document: Number of the newest settings document that it announced.
+        heard_at: Time of its latest answer, in seconds of the monotonic clock.
+        is_current: Whether its latest answer said that its replica was up to date.
+        asked_at: Time of the latest extra poll for a document that it announced, in
+            seconds of the monotonic clock.
     """
 
     def __init__(self) -> None:
@@ -62,13 +66,14 @@
 
 
 class Follower:
-    """Follows several control VMs; whoever embeds it merges the records.
+    """Follows the feeds of several control VMs; the caller merges the records.
 
     Attributes:
-        document: The newest agreed document known.
-        peers: Entry VMs of the own zone, this one included.
-        sources: Control VMs by name.
-        is_stopping: Whether this VM ends soon.
+        settings: Settings of the follower.
+        document: Newest settings document received.
+        peers: Entry VMs in this VM's zone, including this one.
+        sources: State of each known control VM, by name.
+        is_stopping: Whether this VM is shutting down.
     """
 
     def __init__(self, settings: FollowerSettings) -> None:
@@ -80,37 +85,40 @@
         self.set_seeds(settings.seeds)
 
     def set_seeds(self, seeds: tuple[VmId, ...]) -> None:
-        """Never stop asking these control VMs."""
+        """Replace the seeds, the control VMs that are polled permanently."""
         self.settings = self.settings._replace(seeds=seeds)
         for vm in seeds:
             self.add(vm)
 
     def add(self, vm: VmId) -> None:
-        """Ask a control VM too, from now on."""
+        """Add a control VM to the known ones, unless it is this VM."""
         if vm != self.settings.vm:
             self.sources.setdefault(vm, Source())
 
     def polls(self, now: float) -> list[tuple[VmId, FeedPoll]]:
-        """Return the polls that are due, one for each control VM followed."""
+        """Return one poll for each followed control VM."""
         self._forget(now)
         primary = self.primary(now)
         return [(vm, self._poll(vm, primary, now)) for vm in self._followed(now)]
 
     def primary(self, now: float) -> VmId | None:
-        """Return the control VM to take news from: near, answering and current."""
+        """Return the preferred available control VM, or None if none is available.
+
+        Up-to-date control VMs come first, then those in the same zone.
+        """
         limit = now - self.settings.silent_s
         fresh = [vm for vm, one in self.sources.items() if one.heard_at > limit]
         return min(fresh, key=self._preference, default=None)
 
     def is_fed(self, now: float) -> bool:
-        """Return whether a current control VM answers."""
+        """Return whether an up-to-date control VM has answered recently."""
         limit = now - self.settings.silent_s
         return any(
             one.heard_at > limit and one.is_current for one in self.sources.values()
         )
 
     def silent_zones(self, now: float) -> frozenset[ZoneName]:
-        """Return the followed zones of which no control VM answers any more."""
+        """Return the zones in which no followed control VM has answered recently."""
         limit = now - self.settings.silent_s
         latest: dict[ZoneName, float] = {}
         for vm in self._followed(now):
@@ -122,7 +130,7 @@
         )
 
     def take(self, answer: FeedAnswer, now: float) -> None:
-        """Note all that an answer tells but its records."""
+        """Process everything in an answer except its records."""
         source = self.sources.setdefault(answer.sender, Source())
         if source.heard_at == -math.inf:
             log_decision("feed-regained", source=answer.sender)
@@ -142,14 +150,15 @@
         self._take_document(answer)
 
     def has_more(self, answer: FeedAnswer) -> bool:
-        """Return whether the answer was a full page, so that more may follow."""
+        """Return whether the answer is a full page, so that more records may follow."""
         return len(answer.records) >= self.settings.page_records
 
     def poll_after(self, answer: FeedAnswer, now: float) -> FeedPoll | None:
-        """Return the poll that an answer makes necessary at once, None for none.
+        """Return the extra poll to send at once after an answer, or None.
 
-        One that carried as many records as fit is followed by another. One of a
-        control VM that is not the primary only names a newer document.
+        A full page requires a poll for the next one. A control VM that is not the
+        primary may announce a newer document without sending its content, which
+        requires a poll for the document.
         """
         poll = self.poll_of(answer.sender, now)
         if self.has_more(answer):
@@ -163,7 +172,7 @@
         return poll
 
     def poll_of(self, vm: VmId, now: float) -> FeedPoll:
-        """Return a poll of one control VM."""
+        """Return a poll for one control VM."""
         return self._poll(vm, self.primary(now), now)
 
     def _take_document(self, answer: FeedAnswer) -> None:
@@ -197,7 +206,12 @@
         return (not source.is_current, source.zone != self.settings.zone, vm)
 
     def _followed(self, now: float) -> list[VmId]:
-        """Return the near control VMs, and of some other zones one or two each."""
+        """Return the control VMs to poll.
+
+        A control VM polls all others. An entry VM polls those in its own zone, those
+        whose zone is unknown, and one available control VM in each of a limited number
+        of other zones, or all control VMs of such a zone if none is available.
+        """
         if self.settings.is_control:
             return list(self.sources)
         near = [vm for vm, one in self.sources.items() if self._is_near(one)]
--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -1,4 +1,4 @@
-"""The side of the feed that answers: one control VM and who follows it."""
+"""Publishing side of the feed: a control VM that answers polls and pushes updates."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 
 
 class Document(NamedTuple):
-    """The newest agreed document.
+    """The newest committed settings document.
 
     Attributes:
-        number: Its number, 0 for none.
-        content: Its packed content.
+        number: Number of the document; 0 if there is none.
+        content: Encoded content of the document.
     """
 
     number: int = 0
@@ -24,12 +24,13 @@
 
 
 class Follower(NamedTuple):
-    """One VM that follows the feed.
+    """A VM that polls the feed, as tracked by the publisher.
 
     Attributes:
-        poll: Its latest poll, moved on by what was pushed since.
-        heard_at: When it polled last, in steady seconds.
-        document_at: When it was sent a document last, in steady seconds.
+        poll: Latest poll, with position and document advanced by each answer or push.
+        heard_at: Time of the latest poll, in seconds of the monotonic clock.
+        document_at: Time at which a document was last sent to the VM, in seconds of
+            the monotonic clock.
     """
 
     poll: FeedPoll
@@ -38,15 +39,15 @@
 
 
 class PublisherSettings(NamedTuple):
-    """How a control VM serves its followers.
+    """Settings of the feed publisher on a control VM.
 
     Attributes:
-        vm: The control VM.
-        zone: Its availability zone.
-        incarnation: Its process.
-        follower_silent_s: Seconds without a poll after which a follower is gone.
-        document_gap_s: Seconds between two documents sent to one follower, so that
-            many changes in a row do not fill its link.
+        vm: Name of the control VM.
+        zone: Availability zone of the control VM.
+        incarnation: Identifier of the control VM's process.
+        follower_silent_s: Seconds without a poll after which a follower is removed.
+        document_gap_s: Minimum seconds between two documents sent to one follower, so
+            that a burst of changes does not saturate its link.
     """
 
     vm: VmId
@@ -57,7 +58,16 @@
 
 
 class Publisher:
-    """Answers polls and pushes news; a lost push is mended by the next poll."""
+    """Answers polls and pushes updates; the next poll recovers a lost push.
+
+    Attributes:
+        settings: Settings of the publisher.
+        leases: Leases and server records of this control VM.
+        document: Newest committed settings document.
+        is_current: Whether a consensus leader has recently confirmed that the local
+            replica is up to date.
+        followers: VMs that poll this control VM, by name.
+    """
 
     def __init__(self, settings: PublisherSettings, leases: Leases) -> None:
         self.settings = settings
@@ -67,7 +77,7 @@
         self.followers: dict[VmId, Follower] = {}
 
     def answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
-        """Return what a poll asks for."""
+        """Register the sender of a poll as a follower and return the answer."""
         if poll.sender not in self.followers:
             log_decision("feed-follower", vm=poll.sender, zone=poll.zone)
         known = self.followers.get(poll.sender)
@@ -78,7 +88,10 @@
         return self._answer(poll, now)
 
     def push(self, now: float) -> list[tuple[VmId, FeedAnswer]]:
-        """Return the news for each follower that wants them at once."""
+        """Return the updates to push to each follower that requested pushes.
+
+        Followers that stopped polling are removed first.
+        """
         limit = now - self.settings.follower_silent_s
         for vm, follower in list(self.followers.items()):
             if follower.heard_at < limit:
@@ -88,17 +101,17 @@
         return [(poll.sender, self._answer(poll, now)) for poll in wanting]
 
     def push_documents(self, now: float) -> list[tuple[VmId, FeedAnswer]]:
-        """Return the newest document for each follower that is due to get it."""
+        """Return answers with the newest document for each follower that is due one."""
         due = [one.poll for one in self.followers.values() if self._is_due(one, now)]
         return [(poll.sender, self._answer(poll, now)) for poll in due]
 
     def control(self) -> tuple[VmId, ...]:
-        """Return the control VMs that are there, this one included."""
+        """Return the live control VMs, including this one."""
         others = [vm for vm, one in self.followers.items() if one.poll.is_control]
         return tuple(sorted([self.settings.vm, *others]))
 
     def entries(self, zone: ZoneName) -> tuple[VmId, ...]:
-        """Return the entry VMs of a zone that are there and stay."""
+        """Return the live entry VMs of a zone that are not shutting down."""
         found = [
             vm
             for vm, one in self.followers.items()
@@ -136,7 +149,10 @@
         )
 
     def _is_due(self, follower: Follower, now: float) -> bool:
-        """Return whether a follower lacks the document and may be sent it now."""
+        """Return whether to send a follower the newest document now.
+
+        Control VMs are never due, as they replicate the document by consensus.
+        """
         poll = follower.poll
         is_behind = poll.document < self.document.number
         is_asked_for = is_behind and poll.wants_push and not poll.is_control
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -29,7 +29,7 @@
 
 
 def exchange(one, other, now):
-    """Poll once and return the answers, through the codec."""
+    """Poll a publisher once and return its answers after a codec round trip."""
     answers = []
     for vm, poll in one.polls(now):
         if vm == other.settings.vm:
@@ -77,7 +77,7 @@
 
 
 def test_many_changes_in_a_row_send_a_follower_only_some_of_the_documents():
-    """A storm of changes with many routes must leave room on a small link."""
+    """Guard against bursts of large documents that saturate a slow link."""
     source = publisher()
     mine = follower()
     exchange(mine, source, 0.0)
