Rename heard to last_report_at

Time of the latest report by server name.

Rename: libs/registry/src/kumquatmux_registry/leases.py heard last_report_at

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -31,7 +31,7 @@
         self.settings = settings
         self.me = me
         self.table = ServerTable()
-        self.heard: dict[str, float] = {}
+        self.last_report_at: dict[str, float] = {}
         self.holders: dict[VmId, float] = {}
 
     def report(self, report: Report, now: float) -> Result[bool, Problem]:
@@ -54,7 +54,7 @@
             return Ok(False)
         if former.phase == Phase.ENDED and report.phase != Phase.READY:
             return Ok(False)
-        self.heard[name] = now
+        self.last_report_at[name] = now
         if self._is_news(report, known):
             return Ok(self._take(report, now))
         renewed = known._replace(report=report)
@@ -106,13 +106,13 @@
         known = self.table.get(name)
         if known is None or known.report.lifetime != doubted.report.lifetime:
             return False
-        heard = self.heard.get(name, -math.inf)
+        heard = self.last_report_at.get(name, -math.inf)
         is_heard = heard > now - self.settings.late_after_s
         return known.holder == self.me and is_heard
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
         if record.holder == self.me:
-            heard = self.heard.get(record.report.lifetime.name, changed_at)
+            heard = self.last_report_at.get(record.report.lifetime.name, changed_at)
             return heard < now - self.settings.late_after_s
         limit = now - self.settings.holder_silent_s
         heard = max(self.holders.get(record.holder, changed_at), changed_at)
@@ -129,5 +129,5 @@
         record = ServerRecord(report, self.me)
         changed = self.table.merge(record, now)
         if changed:
-            self.heard[report.lifetime.name] = now
+            self.last_report_at[report.lifetime.name] = now
         return bool(changed)
