Rename holders to last_holder_message_at

Time of the latest message by control VM.

Rename: libs/registry/src/kumquatmux_registry/leases.py holders last_holder_message_at

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -32,7 +32,7 @@
         self.me = me
         self.table = ServerTable()
         self.last_report_at: dict[str, float] = {}
-        self.holders: dict[VmId, float] = {}
+        self.last_holder_message_at: dict[VmId, float] = {}
 
     def report(self, report: Report, now: float) -> Result[bool, Problem]:
         """Process a report; return whether the other VMs must be told of the change.
@@ -83,7 +83,7 @@
 
     def hear_holder(self, holder: VmId, now: float) -> None:
         """Record that a message from another control VM arrived."""
-        self.holders[holder] = now
+        self.last_holder_message_at[holder] = now
 
     def expire(self, now: float) -> bool:
         """Mark servers that stopped reporting as late; return whether any changed.
@@ -115,7 +115,9 @@
             heard = self.last_report_at.get(record.report.lifetime.name, changed_at)
             return heard < now - self.settings.late_after_s
         limit = now - self.settings.holder_silent_s
-        heard = max(self.holders.get(record.holder, changed_at), changed_at)
+        heard = max(
+            self.last_holder_message_at.get(record.holder, changed_at), changed_at
+        )
         return heard < limit
 
     def _is_news(self, report: Report, known: ServerRecord) -> bool:
