Rename doubted to with_suspicion_toggled

Returns a copy with one more suspicion or refutation.

Rename: libs/registry/src/kumquatmux_registry/records.py doubted with_suspicion_toggled

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -96,7 +96,7 @@
             is_over = record.is_late or record.report.phase == Phase.ENDED
             if is_over or not self._is_overdue(record, held.changed_at, now):
                 continue
-            is_news |= bool(self.table.merge(record.doubted(), now))
+            is_news |= bool(self.table.merge(record.with_suspicion_toggled(), now))
         self.table.forget(now - self.settings.forget_after_s)
         return is_news
 
--- a/libs/registry/src/kumquatmux_registry/records.py
+++ b/libs/registry/src/kumquatmux_registry/records.py
@@ -96,7 +96,7 @@
         is_ended = report.phase == Phase.ENDED
         return (report.lifetime.born_ms, report.number, is_ended, self.doubts)
 
-    def doubted(self) -> ServerRecord:
+    def with_suspicion_toggled(self) -> ServerRecord:
         """Return a copy that suspects the server, or refutes the current suspicion."""
         return self._replace(doubts=self.doubts + 1)
 
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -59,7 +59,7 @@
     def renew(self, name: str, now: float) -> None:
         """Store a record again as a new change, refuting any suspicion."""
         record = self.held[name].record
-        self._put(record.doubted() if record.is_late else record, now)
+        self._put(record.with_suspicion_toggled() if record.is_late else record, now)
 
     def after(self, position: int, limit: int) -> list[Held]:
         """Return the entries changed after a position, oldest first, up to a limit."""
--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -75,7 +75,7 @@
 
 def test_the_holder_refutes_a_doubt_about_a_server_that_reports_to_it(leases):
     leases.report(report(1), 0.0)
-    doubted = leases.table.get("i-1").doubted()
+    doubted = leases.table.get("i-1").with_suspicion_toggled()
     assert leases.merge(doubted, 1.0) is True
     assert not leases.table.get("i-1").is_late
     assert leases.table.get("i-1").doubts == 2
@@ -97,7 +97,7 @@
 
 def test_a_doubt_about_an_earlier_report_is_answered_with_the_latest_one(leases):
     leases.report(report(1), 0.0)
-    doubted = leases.table.get("i-1").doubted()
+    doubted = leases.table.get("i-1").with_suspicion_toggled()
     leases.report(report(2), 1.0)
     position = leases.table.position
     assert leases.merge(doubted, 1.5) is True
@@ -107,6 +107,6 @@
 
 def test_a_doubt_about_a_server_that_is_silent_here_too_is_not_refuted(leases):
     leases.report(report(1), 0.0)
-    doubted = leases.table.get("i-1").doubted()
+    doubted = leases.table.get("i-1").with_suspicion_toggled()
     leases.report(report(2), 1.0)
     assert leases.merge(doubted, 6.0) is False
