Rename rank to sort_key

Sort key that orders records of one server name.

Rename: libs/registry/src/kumquatmux_registry/records.py rank sort_key

--- a/libs/registry/src/kumquatmux_registry/records.py
+++ b/libs/registry/src/kumquatmux_registry/records.py
@@ -90,7 +90,7 @@
         return self.doubts % 2 == 1
 
     @property
-    def rank(self) -> tuple[int, int, bool, int]:
+    def sort_key(self) -> tuple[int, int, bool, int]:
         """Sort key for records of one server name; the highest rank is the newest."""
         report = self.report
         is_ended = report.phase == Phase.ENDED
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -49,7 +49,7 @@
         """
         name = record.report.lifetime.name
         known = self.get(name)
-        if known is not None and record.rank <= known.rank:
+        if known is not None and record.sort_key <= known.sort_key:
             return []
         changed = [self._put(record, now)]
         if record.report.phase != Phase.ENDED:
