--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -34,7 +34,7 @@
     """
 
     poll: FeedPoll
-    heard_at: float
+    last_poll_at: float
     document_at: float = -math.inf
 
 
@@ -94,7 +94,7 @@
         """
         limit = now - self.settings.follower_silent_s
         for vm, follower in list(self.followers.items()):
-            if follower.heard_at < limit:
+            if follower.last_poll_at < limit:
                 log_decision("feed-follower-gone", vm=vm)
                 del self.followers[vm]
         wanting = [one.poll for one in self.followers.values() if one.poll.wants_push]
