Rename Follower to FollowerState

State that the publisher keeps for one follower.

Rename: libs/registry/src/kumquatmux_registry/publisher.py Follower FollowerState

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -23,7 +23,7 @@
     content: bytes = b""
 
 
-class Follower(NamedTuple):
+class FollowerState(NamedTuple):
     """A VM that polls the feed, as tracked by the publisher.
 
     Attributes:
@@ -74,7 +74,7 @@
         self.leases = leases
         self.document = Document()
         self.is_current = False
-        self.followers: dict[VmId, Follower] = {}
+        self.followers: dict[VmId, FollowerState] = {}
 
     def answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
         """Register the sender of a poll as a follower and return the answer."""
@@ -82,7 +82,7 @@
             log_decision("feed-follower", vm=poll.sender, zone=poll.zone)
         known = self.followers.get(poll.sender)
         document_at = known.document_at if known else -math.inf
-        self.followers[poll.sender] = Follower(poll, now, document_at)
+        self.followers[poll.sender] = FollowerState(poll, now, document_at)
         if poll.is_control:
             self.leases.hear_holder(poll.sender, now)
         return self._answer(poll, now)
@@ -148,7 +148,7 @@
             self.is_current,
         )
 
-    def _is_due(self, follower: Follower, now: float) -> bool:
+    def _is_due(self, follower: FollowerState, now: float) -> bool:
         """Return whether to send a follower the newest document now.
 
         Control VMs are never due, as they replicate the document by consensus.
