Rename follower_silent_s to follower_timeout_s

Timeout of followers, the usual term.

Rename: libs/registry/src/kumquatmux_registry/publisher.py follower_silent_s follower_timeout_s

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -53,7 +53,7 @@
     vm: VmId
     zone: ZoneName
     incarnation: int
-    follower_silent_s: float = 3.0
+    follower_timeout_s: float = 3.0
     document_gap_s: float = 0.3
 
 
@@ -92,7 +92,7 @@
 
         Followers that stopped polling are removed first.
         """
-        limit = now - self.settings.follower_silent_s
+        limit = now - self.settings.follower_timeout_s
         for vm, follower in list(self.followers.items()):
             if follower.last_poll_at < limit:
                 log_decision("feed-follower-gone", vm=vm)
