Rename document_gap_s to min_document_interval_s

Minimum interval between two documents.

Rename: libs/registry/src/kumquatmux_registry/publisher.py document_gap_s min_document_interval_s

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -54,7 +54,7 @@
     zone: ZoneName
     incarnation: int
     follower_timeout_s: float = 3.0
-    document_gap_s: float = 0.3
+    min_document_interval_s: float = 0.3
 
 
 class Publisher:
@@ -157,5 +157,5 @@
         is_behind = poll.document < self.document.number
         is_asked_for = is_behind and poll.wants_push and not poll.is_control
         return is_asked_for and (
-            now - follower.document_at >= self.settings.document_gap_s
+            now - follower.document_at >= self.settings.min_document_interval_s
         )
