Rename control to control_vms

Returns the live control VMs.

Rename: libs/registry/src/kumquatmux_registry/publisher.py control control_vms

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -105,7 +105,7 @@
         due = [one.poll for one in self.followers.values() if self._is_due(one, now)]
         return [(poll.sender, self._answer(poll, now)) for poll in due]
 
-    def control(self) -> tuple[VmId, ...]:
+    def control_vms(self) -> tuple[VmId, ...]:
         """Return the live control VMs, including this one."""
         others = [vm for vm, one in self.followers.items() if one.poll.is_control]
         return tuple(sorted([self.settings.vm, *others]))
@@ -143,7 +143,7 @@
             tuple(held.record for held in page),
             self.document.number,
             self.document.content if sends_document else b"",
-            self.control(),
+            self.control_vms(),
             () if poll.is_control else self.entries(poll.zone),
             self.is_current,
         )
