Rename entries to entry_vms

Returns the live entry VMs.

Rename: libs/registry/src/kumquatmux_registry/publisher.py entries entry_vms

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -110,7 +110,7 @@
         others = [vm for vm, one in self.followers.items() if one.poll.is_control]
         return tuple(sorted([self.settings.vm, *others]))
 
-    def entries(self, zone: ZoneName) -> tuple[VmId, ...]:
+    def entry_vms(self, zone: ZoneName) -> tuple[VmId, ...]:
         """Return the live entry VMs of a zone that are not shutting down."""
         found = [
             vm
@@ -144,7 +144,7 @@
             self.document.number,
             self.document.content if sends_document else b"",
             self.control_vms(),
-            () if poll.is_control else self.entries(poll.zone),
+            () if poll.is_control else self.entry_vms(poll.zone),
             self.is_current,
         )
 
