Rename _answer to _build_answer

Builds the answer to a poll.

Rename: libs/registry/src/kumquatmux_registry/publisher.py _answer _build_answer

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -85,7 +85,7 @@
         self.followers[poll.sender] = FollowerState(poll, now, document_at)
         if poll.is_control:
             self.leases.hear_holder(poll.sender, now)
-        return self._answer(poll, now)
+        return self._build_answer(poll, now)
 
     def push(self, now: float) -> list[tuple[VmId, FeedAnswer]]:
         """Return the updates to push to each follower that requested pushes.
@@ -98,12 +98,12 @@
                 log_decision("feed-follower-gone", vm=vm)
                 del self.followers[vm]
         wanting = [one.poll for one in self.followers.values() if one.poll.wants_push]
-        return [(poll.sender, self._answer(poll, now)) for poll in wanting]
+        return [(poll.sender, self._build_answer(poll, now)) for poll in wanting]
 
     def push_documents(self, now: float) -> list[tuple[VmId, FeedAnswer]]:
         """Return answers with the newest document for each follower that is due one."""
         due = [one.poll for one in self.followers.values() if self._is_due(one, now)]
-        return [(poll.sender, self._answer(poll, now)) for poll in due]
+        return [(poll.sender, self._build_answer(poll, now)) for poll in due]
 
     def control_vms(self) -> tuple[VmId, ...]:
         """Return the live control VMs, including this one."""
@@ -121,7 +121,7 @@
         ]
         return tuple(sorted(found))
 
-    def _answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
+    def _build_answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
         mine = self.settings
         since = poll.position if poll.incarnation == mine.incarnation else 0
         limit = self.leases.settings.page_records
