Rename _is_due to _is_document_due

Whether a document is due for a follower.

Rename: libs/registry/src/kumquatmux_registry/publisher.py _is_due _is_document_due

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -102,7 +102,11 @@
 
     def push_documents(self, now: float) -> list[tuple[VmId, FeedAnswer]]:
         """Return answers with the newest document for each follower that is due one."""
-        due = [one.poll for one in self.followers.values() if self._is_due(one, now)]
+        due = [
+            one.poll
+            for one in self.followers.values()
+            if self._is_document_due(one, now)
+        ]
         return [(poll.sender, self._build_answer(poll, now)) for poll in due]
 
     def control_vms(self) -> tuple[VmId, ...]:
@@ -127,7 +131,7 @@
         limit = self.leases.settings.page_records
         page = self.leases.table.after(since, limit)
         follower = self.followers[poll.sender]
-        sends_document = self._is_due(follower._replace(poll=poll), now)
+        sends_document = self._is_document_due(follower._replace(poll=poll), now)
         position = page[-1].position if page else max(since, 0)
         moved = poll._replace(incarnation=mine.incarnation, position=position)
         if sends_document:
@@ -148,7 +152,7 @@
             self.is_current,
         )
 
-    def _is_due(self, follower: FollowerState, now: float) -> bool:
+    def _is_document_due(self, follower: FollowerState, now: float) -> bool:
         """Return whether to send a follower the newest document now.
 
         Control VMs are never due, as they replicate the document by consensus.
