Rename Source to SourceState

State that the follower keeps for one control VM.

Rename: libs/registry/src/kumquatmux_registry/follower.py Source SourceState

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -41,7 +41,7 @@
     ask_again_s: float = 0.3
 
 
-class Source:
+class SourceState:
     """State of one followed control VM.
 
     Attributes:
@@ -81,7 +81,7 @@
         self.is_stopping = False
         self.document = Document()
         self.peers: tuple[VmId, ...] = ()
-        self.sources: dict[VmId, Source] = {}
+        self.sources: dict[VmId, SourceState] = {}
         self.set_seeds(settings.seeds)
 
     def set_seeds(self, seeds: tuple[VmId, ...]) -> None:
@@ -93,7 +93,7 @@
     def add(self, vm: VmId) -> None:
         """Add a control VM to the known ones, unless it is this VM."""
         if vm != self.settings.vm:
-            self.sources.setdefault(vm, Source())
+            self.sources.setdefault(vm, SourceState())
 
     def polls(self, now: float) -> list[tuple[VmId, FeedPoll]]:
         """Return one poll for each followed control VM."""
@@ -131,7 +131,7 @@
 
     def take(self, answer: FeedAnswer, now: float) -> None:
         """Process everything in an answer except its records."""
-        source = self.sources.setdefault(answer.sender, Source())
+        source = self.sources.setdefault(answer.sender, SourceState())
         if source.heard_at == -math.inf:
             log_decision("feed-regained", source=answer.sender)
         if source.incarnation != answer.incarnation:
@@ -228,7 +228,7 @@
             chosen += fresh[:1] or vms
         return near + chosen
 
-    def _is_near(self, source: Source) -> bool:
+    def _is_near(self, source: SourceState) -> bool:
         return source.zone in (self.settings.zone, "")
 
     def _forget(self, now: float) -> None:
