Rename forget_s to source_retention_s

How long a silent control VM is retained.

Rename: libs/registry/src/kumquatmux_registry/follower.py forget_s source_retention_s

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -35,7 +35,7 @@
     is_control: bool
     seeds: tuple[VmId, ...]
     silent_s: float = 1.2
-    forget_s: float = 20.0
+    source_retention_s: float = 20.0
     outside: int = 3
     page_records: int = 64
     ask_again_s: float = 0.3
@@ -234,7 +234,7 @@
     def _forget(self, now: float) -> None:
         for vm, source in list(self.sources.items()):
             is_seed = vm in self.settings.seeds
-            is_old = source.heard_at < now - self.settings.forget_s
+            is_old = source.heard_at < now - self.settings.source_retention_s
             if is_old and not is_seed and source.heard_at != -math.inf:
                 log_decision("feed-lost", source=vm)
                 del self.sources[vm]
