Rename outside to max_other_zones

Maximum number of other zones followed.

Rename: libs/registry/src/kumquatmux_registry/follower.py outside max_other_zones

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -36,7 +36,7 @@
     seeds: tuple[VmId, ...]
     silent_s: float = 1.2
     source_retention_s: float = 20.0
-    outside: int = 3
+    max_other_zones: int = 3
     page_records: int = 64
     ask_again_s: float = 0.3
 
@@ -222,7 +222,7 @@
                 by_zone.setdefault(source.zone, []).append(vm)
         limit = now - self.settings.silent_s
         chosen: list[VmId] = []
-        for zone in sorted(by_zone)[: self.settings.outside]:
+        for zone in sorted(by_zone)[: self.settings.max_other_zones]:
             vms = by_zone[zone]
             fresh = [vm for vm in vms if self.sources[vm].heard_at > limit]
             chosen += fresh[:1] or vms
