--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -38,7 +38,7 @@
     source_retention_s: float = 20.0
     max_other_zones: int = 3
     page_records: int = 64
-    ask_again_s: float = 0.3
+    min_document_poll_interval_s: float = 0.3
 
 
 class SourceState:
@@ -165,7 +165,9 @@
             return poll if poll.wants_push else None
         source = self.sources[answer.sender]
         is_behind = answer.document > self.document.number
-        is_told_soon = now - source.asked_at < self.settings.ask_again_s
+        is_told_soon = (
+            now - source.asked_at < self.settings.min_document_poll_interval_s
+        )
         if not is_behind or is_told_soon:
             return None
         source.asked_at = now
