Rename asked_at to document_polled_at

Time of the latest extra poll for a document.

Rename: libs/registry/src/kumquatmux_registry/follower.py asked_at document_polled_at

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -62,7 +62,7 @@
         self.document = 0
         self.heard_at = -math.inf
         self.is_current = False
-        self.asked_at = -math.inf
+        self.document_polled_at = -math.inf
 
 
 class Follower:
@@ -166,11 +166,11 @@
         source = self.sources[answer.sender]
         is_behind = answer.document > self.document.number
         is_told_soon = (
-            now - source.asked_at < self.settings.min_document_poll_interval_s
+            now - source.document_polled_at < self.settings.min_document_poll_interval_s
         )
         if not is_behind or is_told_soon:
             return None
-        source.asked_at = now
+        source.document_polled_at = now
         return poll
 
     def poll_of(self, vm: VmId, now: float) -> FeedPoll:
