Rename _take_document to _store_document

Stores a newer document.

Rename: libs/registry/src/kumquatmux_registry/follower.py _take_document _store_document

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -147,7 +147,7 @@
             self.add(vm)
         if answer.zone == self.settings.zone and not self.settings.is_control:
             self.peers = answer.entries
-        self._take_document(answer)
+        self._store_document(answer)
 
     def has_more(self, answer: FeedAnswer) -> bool:
         """Return whether the answer is a full page, so that more records may follow."""
@@ -177,7 +177,7 @@
         """Return a poll for one control VM."""
         return self._poll(vm, self.primary(now), now)
 
-    def _take_document(self, answer: FeedAnswer) -> None:
+    def _store_document(self, answer: FeedAnswer) -> None:
         if answer.content and answer.document > self.document.number:
             former = self.document.number
             self.document = Document(answer.document, answer.content)
