--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -99,7 +99,7 @@
         """Return one poll for each followed control VM."""
         self._forget(now)
         primary = self.primary(now)
-        return [(vm, self._poll(vm, primary, now)) for vm in self._followed(now)]
+        return [(vm, self._build_poll(vm, primary, now)) for vm in self._followed(now)]
 
     def primary(self, now: float) -> VmId | None:
         """Return the preferred available control VM, or None if none is available.
@@ -175,7 +175,7 @@
 
     def poll_of(self, vm: VmId, now: float) -> FeedPoll:
         """Return a poll for one control VM."""
-        return self._poll(vm, self.primary(now), now)
+        return self._build_poll(vm, self.primary(now), now)
 
     def _store_document(self, answer: FeedAnswer) -> None:
         if answer.content and answer.document > self.document.number:
@@ -188,7 +188,7 @@
                 source=answer.sender,
             )
 
-    def _poll(self, vm: VmId, primary: VmId | None, now: float) -> FeedPoll:
+    def _build_poll(self, vm: VmId, primary: VmId | None, now: float) -> FeedPoll:
         source = self.sources[vm]
         mine = self.settings
         is_behind = source.document > self.document.number
