--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -108,7 +108,7 @@
         """
         limit = now - self.settings.silent_s
         fresh = [vm for vm, one in self.sources.items() if one.heard_at > limit]
-        return min(fresh, key=self._preference, default=None)
+        return min(fresh, key=self._preference_key, default=None)
 
     def is_fed(self, now: float) -> bool:
         """Return whether an up-to-date control VM has answered recently."""
@@ -203,7 +203,7 @@
             self.is_stopping,
         )
 
-    def _preference(self, vm: VmId) -> tuple[bool, bool, VmId]:
+    def _preference_key(self, vm: VmId) -> tuple[bool, bool, VmId]:
         source = self.sources[vm]
         return (not source.is_current, source.zone != self.settings.zone, vm)
 
