Rename _followed to _sources_to_poll

Returns the control VMs to poll.

Rename: libs/registry/src/kumquatmux_registry/follower.py _followed _sources_to_poll

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -99,7 +99,10 @@
         """Return one poll for each followed control VM."""
         self._forget(now)
         primary = self.primary(now)
-        return [(vm, self._build_poll(vm, primary, now)) for vm in self._followed(now)]
+        return [
+            (vm, self._build_poll(vm, primary, now))
+            for vm in self._sources_to_poll(now)
+        ]
 
     def primary(self, now: float) -> VmId | None:
         """Return the preferred available control VM, or None if none is available.
@@ -121,7 +124,7 @@
         """Return the zones in which no followed control VM has answered recently."""
         limit = now - self.settings.silent_s
         latest: dict[ZoneName, float] = {}
-        for vm in self._followed(now):
+        for vm in self._sources_to_poll(now):
             source = self.sources[vm]
             heard = latest.get(source.zone, -math.inf)
             latest[source.zone] = max(heard, source.heard_at)
@@ -207,7 +210,7 @@
         source = self.sources[vm]
         return (not source.is_current, source.zone != self.settings.zone, vm)
 
-    def _followed(self, now: float) -> list[VmId]:
+    def _sources_to_poll(self, now: float) -> list[VmId]:
         """Return the control VMs to poll.
 
         A control VM polls all others. An entry VM polls those in its own zone, those
