Rename _is_near to _is_local_or_unknown_zone

Whether a control VM is in the own or an unknown zone.

Rename: libs/registry/src/kumquatmux_registry/follower.py _is_near _is_local_or_unknown_zone

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -219,11 +219,15 @@
         """
         if self.settings.is_control:
             return list(self.sources)
-        near = [vm for vm, one in self.sources.items() if self._is_near(one)]
+        near = [
+            vm
+            for vm, one in self.sources.items()
+            if self._is_local_or_unknown_zone(one)
+        ]
         by_zone: dict[ZoneName, list[VmId]] = {}
         for vm in sorted(self.sources):
             source = self.sources[vm]
-            if not self._is_near(source):
+            if not self._is_local_or_unknown_zone(source):
                 by_zone.setdefault(source.zone, []).append(vm)
         limit = now - self.settings.silent_s
         chosen: list[VmId] = []
@@ -233,7 +237,7 @@
             chosen += fresh[:1] or vms
         return near + chosen
 
-    def _is_near(self, source: SourceState) -> bool:
+    def _is_local_or_unknown_zone(self, source: SourceState) -> bool:
         return source.zone in (self.settings.zone, "")
 
     def _forget(self, now: float) -> None:
