Rename _forget to _remove_silent_sources

Removes control VMs that stopped answering.

Rename: libs/registry/src/kumquatmux_registry/follower.py _forget _remove_silent_sources

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -97,7 +97,7 @@
 
     def polls(self, now: float) -> list[tuple[VmId, FeedPoll]]:
         """Return one poll for each followed control VM."""
-        self._forget(now)
+        self._remove_silent_sources(now)
         primary = self.primary(now)
         return [
             (vm, self._build_poll(vm, primary, now))
@@ -240,7 +240,7 @@
     def _is_local_or_unknown_zone(self, source: SourceState) -> bool:
         return source.zone in (self.settings.zone, "")
 
-    def _forget(self, now: float) -> None:
+    def _remove_silent_sources(self, now: float) -> None:
         for vm, source in list(self.sources.items()):
             is_seed = vm in self.settings.seeds
             is_old = source.heard_at < now - self.settings.source_retention_s
