--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -35,7 +35,7 @@
 
     poll: FeedPoll
     last_poll_at: float
-    document_at: float = -math.inf
+    document_sent_at: float = -math.inf
 
 
 class PublisherSettings(NamedTuple):
@@ -81,7 +81,7 @@
         if poll.sender not in self.followers:
             log_decision("feed-follower", vm=poll.sender, zone=poll.zone)
         known = self.followers.get(poll.sender)
-        document_at = known.document_at if known else -math.inf
+        document_at = known.document_sent_at if known else -math.inf
         self.followers[poll.sender] = FollowerState(poll, now, document_at)
         if poll.is_control:
             self.leases.hear_holder(poll.sender, now)
@@ -136,7 +136,7 @@
         moved = poll._replace(incarnation=mine.incarnation, position=position)
         if sends_document:
             moved = moved._replace(document=self.document.number)
-            follower = follower._replace(document_at=now)
+            follower = follower._replace(document_sent_at=now)
         self.followers[poll.sender] = follower._replace(poll=moved)
         return FeedAnswer(
             mine.vm,
@@ -161,5 +161,5 @@
         is_behind = poll.document < self.document.number
         is_asked_for = is_behind and poll.wants_push and not poll.is_control
         return is_asked_for and (
-            now - follower.document_at >= self.settings.min_document_interval_s
+            now - follower.document_sent_at >= self.settings.min_document_interval_s
         )
