--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -24,7 +24,7 @@
         forget_s: Seconds without an answer after which a control VM that is not a seed
             is removed.
         outside: Maximum number of other zones in which an entry VM follows control VMs.
-        page_records: Number of records in a full answer; a full answer triggers another
+        page_size: Number of records in a full answer; a full answer triggers another
             poll at once.
         ask_again_s: Minimum seconds between extra polls of one control VM for a
             document whose number it announced without the content.
@@ -37,7 +37,7 @@
     silent_s: float = 1.2
     source_retention_s: float = 20.0
     max_other_zones: int = 3
-    page_records: int = 64
+    page_size: int = 64
     min_document_poll_interval_s: float = 0.3
 
 
@@ -154,7 +154,7 @@
 
     def has_more(self, answer: FeedAnswer) -> bool:
         """Return whether the answer is a full page, so that more records may follow."""
-        return len(answer.records) >= self.settings.page_records
+        return len(answer.records) >= self.settings.page_size
 
     def poll_after(self, answer: FeedAnswer, now: float) -> FeedPoll | None:
         """Return the extra poll to send at once after an answer, or None.
--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -128,7 +128,7 @@
     def _build_answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
         mine = self.settings
         since = poll.position if poll.incarnation == mine.incarnation else 0
-        limit = self.leases.settings.page_records
+        limit = self.leases.settings.page_size
         page = self.leases.table.after(since, limit)
         follower = self.followers[poll.sender]
         sends_document = self._is_document_due(follower._replace(poll=poll), now)
--- a/libs/registry/src/kumquatmux_registry/settings.py
+++ b/libs/registry/src/kumquatmux_registry/settings.py
@@ -15,11 +15,11 @@
             servers are marked as late too, unless they report to another VM.
         forget_after_s: Seconds for which the record of an ended server is kept;
             longer than any flow to the server lasts.
-        page_records: Maximum number of records in one feed answer, which limits the
+        page_size: Maximum number of records in one feed answer, which limits the
             size of the message.
     """
 
     late_after_s: float = 4.0
     holder_silent_s: float = 5.0
     forget_after_s: float = 120.0
-    page_records: int = 64
+    page_size: int = 64
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -20,12 +20,12 @@
 
 
 def publisher(vm="c1", zone="a", incarnation=7, page=64):
-    leases = Leases(RegistrySettings(page_records=page), vm)
+    leases = Leases(RegistrySettings(page_size=page), vm)
     return Publisher(PublisherSettings(vm, zone, incarnation), leases)
 
 
 def follower(seeds=("c1",), zone="a"):
-    return Follower(FollowerSettings("e1", zone, False, seeds, page_records=2))
+    return Follower(FollowerSettings("e1", zone, False, seeds, page_size=2))
 
 
 def exchange(one, other, now):
