Rename forget_after_s to ended_retention_s

How long ended servers are retained.

Rename: libs/registry/src/kumquatmux_registry/settings.py forget_after_s ended_retention_s

--- a/libs/registry/src/kumquatmux_registry/settings.py
+++ b/libs/registry/src/kumquatmux_registry/settings.py
@@ -21,5 +21,5 @@
 
     late_after_s: float = 4.0
     holder_silent_s: float = 5.0
-    forget_after_s: float = 120.0
+    ended_retention_s: float = 120.0
     page_size: int = 64
