Rename Held to TableEntry

An entry of the server table.

Rename: libs/registry/src/kumquatmux_registry/table.py Held TableEntry

--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -9,7 +9,7 @@
 from kumquatmux_registry.records import Phase, ServerRecord
 
 
-class Held(NamedTuple):
+class TableEntry(NamedTuple):
     """Table entry: a record and its latest change.
 
     Attributes:
@@ -33,7 +33,7 @@
     """
 
     def __init__(self) -> None:
-        self.held: dict[str, Held] = {}
+        self.held: dict[str, TableEntry] = {}
         self.by_endpoint: dict[Endpoint, str] = {}
         self.position = 0
 
@@ -61,7 +61,7 @@
         record = self.held[name].record
         self._put(record.with_suspicion_toggled() if record.is_late else record, now)
 
-    def after(self, position: int, limit: int) -> list[Held]:
+    def after(self, position: int, limit: int) -> list[TableEntry]:
         """Return the entries changed after a position, oldest first, up to a limit."""
         newer = [held for held in self.held.values() if held.position > position]
         newer.sort(key=lambda held: held.position)
@@ -77,7 +77,7 @@
     def _put(self, record: ServerRecord, now: float) -> ServerRecord:
         report = record.report
         self.position += 1
-        self.held[report.lifetime.name] = Held(record, self.position, now)
+        self.held[report.lifetime.name] = TableEntry(record, self.position, now)
         log_decision(
             "server-known",
             server=report.lifetime,
