--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         self.held: dict[str, TableEntry] = {}
-        self.by_endpoint: dict[Endpoint, str] = {}
+        self.name_by_endpoint: dict[Endpoint, str] = {}
         self.position = 0
 
     def get(self, name: str) -> ServerRecord | None:
@@ -93,14 +93,14 @@
     def _take_address(self, record: ServerRecord, now: float) -> list[ServerRecord]:
         endpoint = record.report.endpoint
         lifetime = record.report.lifetime
-        former = self.by_endpoint.get(endpoint)
+        former = self.name_by_endpoint.get(endpoint)
         rival = self.get(former) if former not in (None, lifetime.name) else None
         if rival is None or rival.report.phase == Phase.ENDED:
-            self.by_endpoint[endpoint] = lifetime.name
+            self.name_by_endpoint[endpoint] = lifetime.name
             return []
         if rival.report.lifetime.born_ms > lifetime.born_ms:
             return [self._put(ended(record), now)]
-        self.by_endpoint[endpoint] = lifetime.name
+        self.name_by_endpoint[endpoint] = lifetime.name
         return [self._put(ended(rival), now)]
 
 
