Rename renew to republish

Stores the record again so that followers receive it.

Rename: libs/registry/src/kumquatmux_registry/table.py renew republish

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -77,7 +77,7 @@
         """
         changed = bool(self.table.merge(record, now))
         if record.is_late and self._refutes(record, now):
-            self.table.renew(record.report.lifetime.name, now)
+            self.table.republish(record.report.lifetime.name, now)
             return True
         return changed
 
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -56,7 +56,7 @@
             changed += self._take_address(record, now)
         return changed
 
-    def renew(self, name: str, now: float) -> None:
+    def republish(self, name: str, now: float) -> None:
         """Store a record again as a new change, refuting any suspicion."""
         record = self.held[name].record
         self._put(record.with_suspicion_toggled() if record.is_late else record, now)
