--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -97,7 +97,7 @@
             if is_over or not self._is_overdue(record, held.changed_at, now):
                 continue
             is_news |= bool(self.table.merge(record.with_suspicion_toggled(), now))
-        self.table.forget(now - self.settings.ended_retention_s)
+        self.table.remove_ended(now - self.settings.ended_retention_s)
         return is_news
 
     def _refutes(self, doubted: ServerRecord, now: float) -> bool:
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -67,7 +67,7 @@
         newer.sort(key=lambda held: held.position)
         return newer[:limit]
 
-    def forget(self, before: float) -> None:
+    def remove_ended(self, before: float) -> None:
         """Remove ended servers whose record last changed before a time."""
         for name, held in list(self.held.items()):
             is_ended = held.record.report.phase == Phase.ENDED
--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -69,7 +69,7 @@
     table = ServerTable()
     table.merge(record(name="i-1", port=1, phase=Phase.ENDED), 0.0)
     table.merge(record(name="i-2", port=2), 0.0)
-    table.forget(before=1.0)
+    table.remove_ended(before=1.0)
     assert list(table.held) == ["i-2"]
 
 
