--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -51,7 +51,7 @@
         known = self.get(name)
         if known is not None and record.sort_key <= known.sort_key:
             return []
-        changed = [self._put(record, now)]
+        changed = [self._store(record, now)]
         if record.report.phase != Phase.ENDED:
             changed += self._take_address(record, now)
         return changed
@@ -59,7 +59,7 @@
     def republish(self, name: str, now: float) -> None:
         """Store a record again as a new change, refuting any suspicion."""
         record = self.held[name].record
-        self._put(record.with_suspicion_toggled() if record.is_late else record, now)
+        self._store(record.with_suspicion_toggled() if record.is_late else record, now)
 
     def after(self, position: int, limit: int) -> list[TableEntry]:
         """Return the entries changed after a position, oldest first, up to a limit."""
@@ -74,7 +74,7 @@
             if is_ended and held.changed_at < before:
                 del self.held[name]
 
-    def _put(self, record: ServerRecord, now: float) -> ServerRecord:
+    def _store(self, record: ServerRecord, now: float) -> ServerRecord:
         report = record.report
         self.position += 1
         self.held[report.lifetime.name] = TableEntry(record, self.position, now)
@@ -99,9 +99,9 @@
             self.name_by_endpoint[endpoint] = lifetime.name
             return []
         if rival.report.lifetime.born_ms > lifetime.born_ms:
-            return [self._put(ended(record), now)]
+            return [self._store(ended(record), now)]
         self.name_by_endpoint[endpoint] = lifetime.name
-        return [self._put(ended(rival), now)]
+        return [self._store(ended(rival), now)]
 
 
 def ended(record: ServerRecord) -> ServerRecord:
