--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -53,7 +53,7 @@
             return []
         changed = [self._store(record, now)]
         if record.report.phase != Phase.ENDED:
-            changed += self._take_address(record, now)
+            changed += self._claim_endpoint(record, now)
         return changed
 
     def republish(self, name: str, now: float) -> None:
@@ -90,7 +90,7 @@
         )
         return record
 
-    def _take_address(self, record: ServerRecord, now: float) -> list[ServerRecord]:
+    def _claim_endpoint(self, record: ServerRecord, now: float) -> list[ServerRecord]:
         endpoint = record.report.endpoint
         lifetime = record.report.lifetime
         former = self.name_by_endpoint.get(endpoint)
