Rename ended to mark_ended

Returns a copy marked as ended; a verb for a function.

Rename: libs/registry/src/kumquatmux_registry/table.py ended mark_ended

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -11,7 +11,7 @@
 from kumquatmux_core.problems import Problem
 from kumquatmux_registry.records import Phase, Report, ServerRecord
 from kumquatmux_registry.settings import RegistrySettings
-from kumquatmux_registry.table import ServerTable, ended
+from kumquatmux_registry.table import ServerTable, mark_ended
 
 
 class Leases:
@@ -68,7 +68,7 @@
         if known is None or known.report.phase == Phase.ENDED:
             return False
         log_decision("server-left", server=known.report.lifetime)
-        return bool(self.table.merge(ended(known), now))
+        return bool(self.table.merge(mark_ended(known), now))
 
     def merge(self, record: ServerRecord, now: float) -> bool:
         """Merge a record from another control VM; return whether to push an update.
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -99,12 +99,12 @@
             self.name_by_endpoint[endpoint] = lifetime.name
             return []
         if rival.report.lifetime.born_ms > lifetime.born_ms:
-            return [self._store(ended(record), now)]
+            return [self._store(mark_ended(record), now)]
         self.name_by_endpoint[endpoint] = lifetime.name
-        return [self._store(ended(rival), now)]
+        return [self._store(mark_ended(rival), now)]
 
 
-def ended(record: ServerRecord) -> ServerRecord:
+def mark_ended(record: ServerRecord) -> ServerRecord:
     """Return a copy of a record with its lifetime marked as ended."""
     report = record.report._replace(phase=Phase.ENDED)
     return record._replace(report=report, doubts=0)
