--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -27,9 +27,9 @@
             the monotonic clock.
     """
 
-    def __init__(self, settings: RegistrySettings, me: VmId) -> None:
+    def __init__(self, settings: RegistrySettings, own_vm: VmId) -> None:
         self.settings = settings
-        self.me = me
+        self.me = own_vm
         self.table = ServerTable()
         self.last_report_at: dict[str, float] = {}
         self.last_holder_message_at: dict[VmId, float] = {}
