Rename _refutes to _can_refute

Whether a suspicion can be refuted here.

Rename: libs/registry/src/kumquatmux_registry/leases.py _refutes _can_refute

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -76,7 +76,7 @@
         A suspicion about a server that reports to this VM is refuted.
         """
         changed = bool(self.table.merge(record, now))
-        if record.is_late and self._refutes(record, now):
+        if record.is_late and self._can_refute(record, now):
             self.table.republish(record.report.lifetime.name, now)
             return True
         return changed
@@ -100,7 +100,7 @@
         self.table.remove_ended(now - self.settings.ended_retention_s)
         return is_news
 
-    def _refutes(self, doubted: ServerRecord, now: float) -> bool:
+    def _can_refute(self, doubted: ServerRecord, now: float) -> bool:
         """Return whether a suspected server has reported to this VM recently."""
         name = doubted.report.lifetime.name
         known = self.table.get(name)
