Rename _is_news to _is_significant

Whether a report changes something other VMs must know.

Rename: libs/registry/src/kumquatmux_registry/leases.py _is_news _is_significant

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -55,7 +55,7 @@
         if former.phase == Phase.ENDED and report.phase != Phase.READY:
             return Ok(False)
         self.last_report_at[name] = now
-        if self._is_news(report, known):
+        if self._is_significant(report, known):
             return Ok(self._take(report, now))
         renewed = known._replace(report=report)
         held = self.table.held[name]
@@ -120,7 +120,7 @@
         )
         return heard < limit
 
-    def _is_news(self, report: Report, known: ServerRecord) -> bool:
+    def _is_significant(self, report: Report, known: ServerRecord) -> bool:
         former = known.report
         is_moved = known.holder != self.me or known.is_late
         was_cold = former.warm_up_s > 0 and report.warm_up_s <= 0
