--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -44,7 +44,7 @@
         name = report.lifetime.name
         known = self.table.get(name)
         if known is None or known.report.lifetime != report.lifetime:
-            return Ok(self._take(report, now))
+            return Ok(self._store_report(report, now))
         former = known.report
         same = (former.service, former.endpoint, former.zone)
         if (report.service, report.endpoint, report.zone) != same:
@@ -56,7 +56,7 @@
             return Ok(False)
         self.last_report_at[name] = now
         if self._is_significant(report, known):
-            return Ok(self._take(report, now))
+            return Ok(self._store_report(report, now))
         renewed = known._replace(report=report)
         held = self.table.held[name]
         self.table.held[name] = held._replace(record=renewed)
@@ -127,7 +127,7 @@
         is_changed = (former.phase, former.slots) != (report.phase, report.slots)
         return is_moved or was_cold or is_changed
 
-    def _take(self, report: Report, now: float) -> bool:
+    def _store_report(self, report: Report, now: float) -> bool:
         record = ServerRecord(report, self.me)
         changed = self.table.merge(record, now)
         if changed:
