--- a/libs/registry/src/kumquatmux_registry/saved.py
+++ b/libs/registry/src/kumquatmux_registry/saved.py
@@ -17,7 +17,7 @@
 
 NAME = "servers"
 TEMPORARY = "servers.tmp"
-CHECK_BYTES = 8
+CHECKSUM_BYTES = 8
 
 
 class Files(Protocol):
@@ -52,8 +52,8 @@
         ``file-damaged`` if the checksum does not match, as after a truncated or torn
         write, or if another version wrote the records in another format.
     """
-    body = data[CHECK_BYTES:]
-    if xxhash.xxh3_64_digest(body) != data[:CHECK_BYTES]:
+    body = data[CHECKSUM_BYTES:]
+    if xxhash.xxh3_64_digest(body) != data[:CHECKSUM_BYTES]:
         return Error(Problem("file-damaged", "checksum does not match", NAME))
     try:
         return Ok(msgspec.msgpack.decode(body, type=list[ServerRecord]))
