--- a/libs/registry/src/kumquatmux_registry/saved.py
+++ b/libs/registry/src/kumquatmux_registry/saved.py
@@ -16,7 +16,7 @@
 from kumquatmux_registry.records import ServerRecord
 
 NAME = "servers"
-TEMPORARY = "servers.tmp"
+TEMPORARY_FILE_NAME = "servers.tmp"
 CHECKSUM_BYTES = 8
 
 
@@ -84,8 +84,8 @@
     def save(self, records: list[ServerRecord]) -> None:
         """Save records atomically; a disk error is logged and otherwise ignored."""
         try:
-            self.files.replace(TEMPORARY, encode(records))
-            self.files.sync(TEMPORARY)
-            self.files.rename(TEMPORARY, NAME)
+            self.files.replace(TEMPORARY_FILE_NAME, encode(records))
+            self.files.sync(TEMPORARY_FILE_NAME)
+            self.files.rename(TEMPORARY_FILE_NAME, NAME)
         except OSError as error:
             log_decision("servers-unsaved", problem=error)
