--- a/libs/registry/src/kumquatmux_registry/saved.py
+++ b/libs/registry/src/kumquatmux_registry/saved.py
@@ -15,7 +15,7 @@
 from kumquatmux_core.problems import Problem
 from kumquatmux_registry.records import ServerRecord
 
-NAME = "servers"
+FILE_NAME = "servers"
 TEMPORARY_FILE_NAME = "servers.tmp"
 CHECKSUM_BYTES = 8
 
@@ -54,11 +54,11 @@
     """
     body = data[CHECKSUM_BYTES:]
     if xxhash.xxh3_64_digest(body) != data[:CHECKSUM_BYTES]:
-        return Error(Problem("file-damaged", "checksum does not match", NAME))
+        return Error(Problem("file-damaged", "checksum does not match", FILE_NAME))
     try:
         return Ok(msgspec.msgpack.decode(body, type=list[ServerRecord]))
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Error(Problem("file-damaged", str(error), NAME))
+        return Error(Problem("file-damaged", str(error), FILE_NAME))
 
 
 class SavedServers:
@@ -70,9 +70,9 @@
     def load(self) -> list[ServerRecord]:
         """Return the saved records, or an empty list if they cannot be read."""
         try:
-            if NAME not in self.files.names():
+            if FILE_NAME not in self.files.names():
                 return []
-            decoded = decode(self.files.read(NAME))
+            decoded = decode(self.files.read(FILE_NAME))
         except OSError as error:
             log_decision("servers-unread", problem=error)
             return []
@@ -86,6 +86,6 @@
         try:
             self.files.replace(TEMPORARY_FILE_NAME, encode(records))
             self.files.sync(TEMPORARY_FILE_NAME)
-            self.files.rename(TEMPORARY_FILE_NAME, NAME)
+            self.files.rename(TEMPORARY_FILE_NAME, FILE_NAME)
         except OSError as error:
             log_decision("servers-unsaved", problem=error)
--- a/libs/registry/tests/test_saved.py
+++ b/libs/registry/tests/test_saved.py
@@ -7,7 +7,7 @@
 
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_registry.saved import NAME, SavedServers, decode, encode
+from kumquatmux_registry.saved import FILE_NAME, SavedServers, decode, encode
 from kumquatmux_storage.memory import MemoryDisk
 
 PLACE = Endpoint("10.0.0.9", 1)
@@ -41,7 +41,7 @@
 
 def test_a_damaged_file_is_left_out():
     disk = MemoryDisk()
-    disk.replace(NAME, encode([RECORD])[:-1])
+    disk.replace(FILE_NAME, encode([RECORD])[:-1])
     assert SavedServers(disk).load() == []
 
 
