Rename Files to FileStorage

The file operations that a disk provides.

Rename: libs/registry/src/kumquatmux_registry/saved.py Files FileStorage

--- a/libs/registry/src/kumquatmux_registry/saved.py
+++ b/libs/registry/src/kumquatmux_registry/saved.py
@@ -20,7 +20,7 @@
 CHECKSUM_BYTES = 8
 
 
-class Files(Protocol):
+class FileStorage(Protocol):
     """File operations required of a disk; every method may raise ``OSError``."""
 
     def names(self) -> list[str]:
@@ -64,7 +64,7 @@
 class SavedServers:
     """Loads and saves the server records on one disk."""
 
-    def __init__(self, files: Files) -> None:
+    def __init__(self, files: FileStorage) -> None:
         self.files = files
 
     def load(self) -> list[ServerRecord]:
