--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -29,7 +29,7 @@
 
     def __init__(self, settings: RegistrySettings, own_vm: VmId) -> None:
         self.settings = settings
-        self.me = own_vm
+        self.own_vm = own_vm
         self.table = ServerTable()
         self.last_report_at: dict[str, float] = {}
         self.last_holder_message_at: dict[VmId, float] = {}
@@ -108,10 +108,10 @@
             return False
         heard = self.last_report_at.get(name, -math.inf)
         is_heard = heard > now - self.settings.late_after_s
-        return known.holder == self.me and is_heard
+        return known.holder == self.own_vm and is_heard
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
-        if record.holder == self.me:
+        if record.holder == self.own_vm:
             heard = self.last_report_at.get(record.report.lifetime.name, changed_at)
             return heard < now - self.settings.late_after_s
         limit = now - self.settings.holder_silent_s
@@ -122,13 +122,13 @@
 
     def _is_significant(self, report: Report, known: ServerRecord) -> bool:
         former = known.report
-        is_moved = known.holder != self.me or known.is_late
+        is_moved = known.holder != self.own_vm or known.is_late
         was_cold = former.warm_up_s > 0 and report.warm_up_s <= 0
         is_changed = (former.phase, former.slots) != (report.phase, report.slots)
         return is_moved or was_cold or is_changed
 
     def _store_report(self, report: Report, now: float) -> bool:
-        record = ServerRecord(report, self.me)
+        record = ServerRecord(report, self.own_vm)
         changed = self.table.merge(record, now)
         if changed:
             self.last_report_at[report.lifetime.name] = now
