--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -129,7 +129,7 @@
         mine = self.settings
         since = poll.position if poll.incarnation == mine.incarnation else 0
         limit = self.leases.settings.page_size
-        page = self.leases.table.after(since, limit)
+        page = self.leases.table.entries_after(since, limit)
         follower = self.followers[poll.sender]
         sends_document = self._is_document_due(follower._replace(poll=poll), now)
         position = page[-1].position if page else max(since, 0)
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -61,7 +61,7 @@
         record = self.held[name].record
         self._store(record.with_suspicion_toggled() if record.is_late else record, now)
 
-    def after(self, position: int, limit: int) -> list[TableEntry]:
+    def entries_after(self, position: int, limit: int) -> list[TableEntry]:
         """Return the entries changed after a position, oldest first, up to a limit."""
         newer = [held for held in self.held.values() if held.position > position]
         newer.sort(key=lambda held: held.position)
--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -101,7 +101,7 @@
     leases.report(report(2), 1.0)
     position = leases.table.position
     assert leases.merge(doubted, 1.5) is True
-    told = [held.record for held in leases.table.after(position, 9)]
+    told = [held.record for held in leases.table.entries_after(position, 9)]
     assert [one.report.number for one in told] == [2]
 
 
--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -60,9 +60,11 @@
     table = ServerTable()
     for number in range(5):
         table.merge(record(name=f"i-{number}", port=number), 0.0)
-    page = table.after(1, 2)
+    page = table.entries_after(1, 2)
     assert [held.record.report.lifetime.name for held in page] == ["i-1", "i-2"]
-    assert table.after(page[-1].position, 9)[0].position == page[-1].position + 1
+    assert (
+        table.entries_after(page[-1].position, 9)[0].position == page[-1].position + 1
+    )
 
 
 def test_ended_servers_are_forgotten_and_others_are_not():
