Rename known to existing

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py known existing

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -42,10 +42,10 @@
             changed.
         """
         name = report.lifetime.name
-        known = self.table.get(name)
-        if known is None or known.report.lifetime != report.lifetime:
+        existing = self.table.get(name)
+        if existing is None or existing.report.lifetime != report.lifetime:
             return Ok(self._store_report(report, now))
-        former = known.report
+        former = existing.report
         same = (former.service, former.endpoint, former.zone)
         if (report.service, report.endpoint, report.zone) != same:
             detail = f"reports {report.service} at {report.endpoint}"
@@ -55,9 +55,9 @@
         if former.phase == Phase.ENDED and report.phase != Phase.READY:
             return Ok(False)
         self.last_report_at[name] = now
-        if self._is_significant(report, known):
+        if self._is_significant(report, existing):
             return Ok(self._store_report(report, now))
-        renewed = known._replace(report=report)
+        renewed = existing._replace(report=report)
         held = self.table.held[name]
         self.table.held[name] = held._replace(record=renewed)
         return Ok(False)
