Rename former to previous_report

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py former previous_report

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -45,14 +45,14 @@
         existing = self.table.get(name)
         if existing is None or existing.report.lifetime != report.lifetime:
             return Ok(self._store_report(report, now))
-        former = existing.report
-        same = (former.service, former.endpoint, former.zone)
+        previous_report = existing.report
+        same = (previous_report.service, previous_report.endpoint, previous_report.zone)
         if (report.service, report.endpoint, report.zone) != same:
             detail = f"reports {report.service} at {report.endpoint}"
             return Error(Problem("other-server", detail, name))
-        if report.number <= former.number:
+        if report.number <= previous_report.number:
             return Ok(False)
-        if former.phase == Phase.ENDED and report.phase != Phase.READY:
+        if previous_report.phase == Phase.ENDED and report.phase != Phase.READY:
             return Ok(False)
         self.last_report_at[name] = now
         if self._is_significant(report, existing):
