Rename same to previous_identity

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py same previous_identity

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -46,8 +46,12 @@
         if existing is None or existing.report.lifetime != report.lifetime:
             return Ok(self._store_report(report, now))
         previous_report = existing.report
-        same = (previous_report.service, previous_report.endpoint, previous_report.zone)
-        if (report.service, report.endpoint, report.zone) != same:
+        previous_identity = (
+            previous_report.service,
+            previous_report.endpoint,
+            previous_report.zone,
+        )
+        if (report.service, report.endpoint, report.zone) != previous_identity:
             detail = f"reports {report.service} at {report.endpoint}"
             return Error(Problem("other-server", detail, name))
         if report.number <= previous_report.number:
