Rename held to entry

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py held entry

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -62,8 +62,8 @@
         if self._is_significant(report, existing):
             return Ok(self._store_report(report, now))
         renewed = existing._replace(report=report)
-        held = self.table.held[name]
-        self.table.held[name] = held._replace(record=renewed)
+        entry = self.table.held[name]
+        self.table.held[name] = entry._replace(record=renewed)
         return Ok(False)
 
     def leave(self, name: str, now: float) -> bool:
