Rename known to existing

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py known existing

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -68,11 +68,11 @@
 
     def leave(self, name: str, now: float) -> bool:
         """End the current lifetime of a server; return whether the record changed."""
-        known = self.table.get(name)
-        if known is None or known.report.phase == Phase.ENDED:
+        existing = self.table.get(name)
+        if existing is None or existing.report.phase == Phase.ENDED:
             return False
-        log_decision("server-left", server=known.report.lifetime)
-        return bool(self.table.merge(mark_ended(known), now))
+        log_decision("server-left", server=existing.report.lifetime)
+        return bool(self.table.merge(mark_ended(existing), now))
 
     def merge(self, record: ServerRecord, now: float) -> bool:
         """Merge a record from another control VM; return whether to push an update.
