Rename is_news to has_changes

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py is_news has_changes

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -94,15 +94,15 @@
 
         Also removes the records of servers that ended long ago.
         """
-        is_news = False
+        has_changes = False
         for held in list(self.table.held.values()):
             record = held.record
             is_over = record.is_late or record.report.phase == Phase.ENDED
             if is_over or not self._is_overdue(record, held.changed_at, now):
                 continue
-            is_news |= bool(self.table.merge(record.with_suspicion_toggled(), now))
+            has_changes |= bool(self.table.merge(record.with_suspicion_toggled(), now))
         self.table.remove_ended(now - self.settings.ended_retention_s)
-        return is_news
+        return has_changes
 
     def _can_refute(self, doubted: ServerRecord, now: float) -> bool:
         """Return whether a suspected server has reported to this VM recently."""
