Rename held to entry

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py held entry

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -95,10 +95,10 @@
         Also removes the records of servers that ended long ago.
         """
         has_changes = False
-        for held in list(self.table.held.values()):
-            record = held.record
+        for entry in list(self.table.held.values()):
+            record = entry.record
             is_over = record.is_late or record.report.phase == Phase.ENDED
-            if is_over or not self._is_overdue(record, held.changed_at, now):
+            if is_over or not self._is_overdue(record, entry.changed_at, now):
                 continue
             has_changes |= bool(self.table.merge(record.with_suspicion_toggled(), now))
         self.table.remove_ended(now - self.settings.ended_retention_s)
