Rename is_over to is_settled

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py is_over is_settled

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -97,8 +97,8 @@
         has_changes = False
         for entry in list(self.table.held.values()):
             record = entry.record
-            is_over = record.is_late or record.report.phase == Phase.ENDED
-            if is_over or not self._is_overdue(record, entry.changed_at, now):
+            is_settled = record.is_late or record.report.phase == Phase.ENDED
+            if is_settled or not self._is_overdue(record, entry.changed_at, now):
                 continue
             has_changes |= bool(self.table.merge(record.with_suspicion_toggled(), now))
         self.table.remove_ended(now - self.settings.ended_retention_s)
