Rename doubted to suspected

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py doubted suspected

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -104,11 +104,11 @@
         self.table.remove_ended(now - self.settings.ended_retention_s)
         return has_changes
 
-    def _can_refute(self, doubted: ServerRecord, now: float) -> bool:
+    def _can_refute(self, suspected: ServerRecord, now: float) -> bool:
         """Return whether a suspected server has reported to this VM recently."""
-        name = doubted.report.lifetime.name
+        name = suspected.report.lifetime.name
         known = self.table.get(name)
-        if known is None or known.report.lifetime != doubted.report.lifetime:
+        if known is None or known.report.lifetime != suspected.report.lifetime:
             return False
         heard = self.last_report_at.get(name, -math.inf)
         is_heard = heard > now - self.settings.late_after_s
