Rename known to existing

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py known existing

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -107,12 +107,12 @@
     def _can_refute(self, suspected: ServerRecord, now: float) -> bool:
         """Return whether a suspected server has reported to this VM recently."""
         name = suspected.report.lifetime.name
-        known = self.table.get(name)
-        if known is None or known.report.lifetime != suspected.report.lifetime:
+        existing = self.table.get(name)
+        if existing is None or existing.report.lifetime != suspected.report.lifetime:
             return False
         heard = self.last_report_at.get(name, -math.inf)
         is_heard = heard > now - self.settings.late_after_s
-        return known.holder == self.own_vm and is_heard
+        return existing.holder == self.own_vm and is_heard
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
         if record.holder == self.own_vm:
