Rename heard to last_heard_at

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py heard last_heard_at

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -110,8 +110,8 @@
         existing = self.table.get(name)
         if existing is None or existing.report.lifetime != suspected.report.lifetime:
             return False
-        heard = self.last_report_at.get(name, -math.inf)
-        is_heard = heard > now - self.settings.late_after_s
+        last_heard_at = self.last_report_at.get(name, -math.inf)
+        is_heard = last_heard_at > now - self.settings.late_after_s
         return existing.holder == self.own_vm and is_heard
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
