--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -111,8 +111,8 @@
         if existing is None or existing.report.lifetime != suspected.report.lifetime:
             return False
         last_heard_at = self.last_report_at.get(name, -math.inf)
-        is_heard = last_heard_at > now - self.settings.late_after_s
-        return existing.holder == self.own_vm and is_heard
+        is_recent = last_heard_at > now - self.settings.late_after_s
+        return existing.holder == self.own_vm and is_recent
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
         if record.holder == self.own_vm:
