--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -116,13 +116,15 @@
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
         if record.holder == self.own_vm:
-            heard = self.last_report_at.get(record.report.lifetime.name, changed_at)
-            return heard < now - self.settings.late_after_s
+            last_heard_at = self.last_report_at.get(
+                record.report.lifetime.name, changed_at
+            )
+            return last_heard_at < now - self.settings.late_after_s
         limit = now - self.settings.holder_silent_s
-        heard = max(
+        last_heard_at = max(
             self.last_holder_message_at.get(record.holder, changed_at), changed_at
         )
-        return heard < limit
+        return last_heard_at < limit
 
     def _is_significant(self, report: Report, known: ServerRecord) -> bool:
         former = known.report
