Rename limit to oldest_allowed

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py limit oldest_allowed

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -120,11 +120,11 @@
                 record.report.lifetime.name, changed_at
             )
             return last_heard_at < now - self.settings.late_after_s
-        limit = now - self.settings.holder_silent_s
+        oldest_allowed = now - self.settings.holder_silent_s
         last_heard_at = max(
             self.last_holder_message_at.get(record.holder, changed_at), changed_at
         )
-        return last_heard_at < limit
+        return last_heard_at < oldest_allowed
 
     def _is_significant(self, report: Report, known: ServerRecord) -> bool:
         former = known.report
