Rename known to existing

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py known existing

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -126,9 +126,9 @@
         )
         return last_heard_at < oldest_allowed
 
-    def _is_significant(self, report: Report, known: ServerRecord) -> bool:
-        former = known.report
-        is_moved = known.holder != self.own_vm or known.is_late
+    def _is_significant(self, report: Report, existing: ServerRecord) -> bool:
+        former = existing.report
+        is_moved = existing.holder != self.own_vm or existing.is_late
         was_cold = former.warm_up_s > 0 and report.warm_up_s <= 0
         is_changed = (former.phase, former.slots) != (report.phase, report.slots)
         return is_moved or was_cold or is_changed
