Rename former to previous_report

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py former previous_report

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -127,10 +127,13 @@
         return last_heard_at < oldest_allowed
 
     def _is_significant(self, report: Report, existing: ServerRecord) -> bool:
-        former = existing.report
+        previous_report = existing.report
         is_moved = existing.holder != self.own_vm or existing.is_late
-        was_cold = former.warm_up_s > 0 and report.warm_up_s <= 0
-        is_changed = (former.phase, former.slots) != (report.phase, report.slots)
+        was_cold = previous_report.warm_up_s > 0 and report.warm_up_s <= 0
+        is_changed = (previous_report.phase, previous_report.slots) != (
+            report.phase,
+            report.slots,
+        )
         return is_moved or was_cold or is_changed
 
     def _store_report(self, report: Report, now: float) -> bool:
