Rename was_cold to is_warm_up_over

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/leases.py was_cold is_warm_up_over

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -129,12 +129,12 @@
     def _is_significant(self, report: Report, existing: ServerRecord) -> bool:
         previous_report = existing.report
         is_taken_over_or_recovered = existing.holder != self.own_vm or existing.is_late
-        was_cold = previous_report.warm_up_s > 0 and report.warm_up_s <= 0
+        is_warm_up_over = previous_report.warm_up_s > 0 and report.warm_up_s <= 0
         is_changed = (previous_report.phase, previous_report.slots) != (
             report.phase,
             report.slots,
         )
-        return is_taken_over_or_recovered or was_cold or is_changed
+        return is_taken_over_or_recovered or is_warm_up_over or is_changed
 
     def _store_report(self, report: Report, now: float) -> bool:
         record = ServerRecord(report, self.own_vm)
