Rename held to entry

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/table.py held entry

--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -39,8 +39,8 @@
 
     def get(self, name: str) -> ServerRecord | None:
         """Return the record of a server name, or None if there is none."""
-        held = self.held.get(name)
-        return held.record if held else None
+        entry = self.held.get(name)
+        return entry.record if entry else None
 
     def merge(self, record: ServerRecord, now: float) -> list[ServerRecord]:
         """Store a record if it is newer; return the records that changed.
