Rename known to existing

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/table.py known existing

--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -48,8 +48,8 @@
         If two servers claim one endpoint, the one that started earlier is ended.
         """
         name = record.report.lifetime.name
-        known = self.get(name)
-        if known is not None and record.sort_key <= known.sort_key:
+        existing = self.get(name)
+        if existing is not None and record.sort_key <= existing.sort_key:
             return []
         changed = [self._store(record, now)]
         if record.report.phase != Phase.ENDED:
