Rename former to previous_name

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/table.py former previous_name

--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -93,8 +93,12 @@
     def _claim_endpoint(self, record: ServerRecord, now: float) -> list[ServerRecord]:
         endpoint = record.report.endpoint
         lifetime = record.report.lifetime
-        former = self.name_by_endpoint.get(endpoint)
-        rival = self.get(former) if former not in (None, lifetime.name) else None
+        previous_name = self.name_by_endpoint.get(endpoint)
+        rival = (
+            self.get(previous_name)
+            if previous_name not in (None, lifetime.name)
+            else None
+        )
         if rival is None or rival.report.phase == Phase.ENDED:
             self.name_by_endpoint[endpoint] = lifetime.name
             return []
