--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -94,18 +94,18 @@
         endpoint = record.report.endpoint
         lifetime = record.report.lifetime
         previous_name = self.name_by_endpoint.get(endpoint)
-        rival = (
+        other_record = (
             self.get(previous_name)
             if previous_name not in (None, lifetime.name)
             else None
         )
-        if rival is None or rival.report.phase == Phase.ENDED:
+        if other_record is None or other_record.report.phase == Phase.ENDED:
             self.name_by_endpoint[endpoint] = lifetime.name
             return []
-        if rival.report.lifetime.born_ms > lifetime.born_ms:
+        if other_record.report.lifetime.born_ms > lifetime.born_ms:
             return [self._store(mark_ended(record), now)]
         self.name_by_endpoint[endpoint] = lifetime.name
-        return [self._store(mark_ended(rival), now)]
+        return [self._store(mark_ended(other_record), now)]
 
 
 def mark_ended(record: ServerRecord) -> ServerRecord:
