Rename known to existing

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/publisher.py known existing

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -80,8 +80,8 @@
         """Register the sender of a poll as a follower and return the answer."""
         if poll.sender not in self.followers:
             log_decision("feed-follower", vm=poll.sender, zone=poll.zone)
-        known = self.followers.get(poll.sender)
-        document_at = known.document_sent_at if known else -math.inf
+        existing = self.followers.get(poll.sender)
+        document_at = existing.document_sent_at if existing else -math.inf
         self.followers[poll.sender] = FollowerState(poll, now, document_at)
         if poll.is_control:
             self.leases.hear_holder(poll.sender, now)
