--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -92,9 +92,9 @@
 
         Followers that stopped polling are removed first.
         """
-        limit = now - self.settings.follower_timeout_s
+        oldest_allowed = now - self.settings.follower_timeout_s
         for vm, follower in list(self.followers.items()):
-            if follower.last_poll_at < limit:
+            if follower.last_poll_at < oldest_allowed:
                 log_decision("feed-follower-gone", vm=vm)
                 del self.followers[vm]
         wanting = [one.poll for one in self.followers.values() if one.poll.wants_push]
