Rename wanting to push_polls

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/publisher.py wanting push_polls

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -97,8 +97,10 @@
             if follower.last_poll_at < oldest_allowed:
                 log_decision("feed-follower-gone", vm=vm)
                 del self.followers[vm]
-        wanting = [one.poll for one in self.followers.values() if one.poll.wants_push]
-        return [(poll.sender, self._build_answer(poll, now)) for poll in wanting]
+        push_polls = [
+            one.poll for one in self.followers.values() if one.poll.wants_push
+        ]
+        return [(poll.sender, self._build_answer(poll, now)) for poll in push_polls]
 
     def push_documents(self, now: float) -> list[tuple[VmId, FeedAnswer]]:
         """Return answers with the newest document for each follower that is due one."""
