--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -21,13 +21,14 @@
         seeds: Initial control VMs, which are polled permanently.
         silent_s: Seconds without an answer after which a control VM is considered
             unavailable.
-        forget_s: Seconds without an answer after which a control VM that is not a seed
-            is removed.
-        outside: Maximum number of other zones in which an entry VM follows control VMs.
+        source_retention_s: Seconds without an answer after which a control VM that is
+            not a seed is removed.
+        max_other_zones: Maximum number of other zones in which an entry VM follows
+            control VMs.
         page_size: Number of records in a full answer; a full answer triggers another
             poll at once.
-        ask_again_s: Minimum seconds between extra polls of one control VM for a
-            document whose number it announced without the content.
+        min_document_poll_interval_s: Minimum seconds between extra polls of one control
+            VM for a document whose number it announced without the content.
     """
 
     vm: VmId
@@ -51,8 +52,8 @@
         document: Number of the newest settings document that it announced.
         heard_at: Time of its latest answer, in seconds of the monotonic clock.
         is_current: Whether its latest answer said that its replica was up to date.
-        asked_at: Time of the latest extra poll for a document that it announced, in
-            seconds of the monotonic clock.
+        document_polled_at: Time of the latest extra poll for a document that it
+            announced, in seconds of the monotonic clock.
     """
 
     def __init__(self) -> None:
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -19,12 +19,12 @@
 
     Attributes:
         settings: Timeouts of the registry.
-        me: Name of this control VM.
+        own_vm: Name of this control VM.
         table: Records of all servers, including those that report to other VMs.
-        heard: Time of the latest report received here from each server name, in
-            seconds of the monotonic clock.
-        holders: Time of the latest message from each other control VM, in seconds of
-            the monotonic clock.
+        last_report_at: Time of the latest report received here from each server name,
+            in seconds of the monotonic clock.
+        last_holder_message_at: Time of the latest message from each other control VM,
+            in seconds of the monotonic clock.
     """
 
     def __init__(self, settings: RegistrySettings, own_vm: VmId) -> None:
--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -28,9 +28,9 @@
 
     Attributes:
         poll: Latest poll, with position and document advanced by each answer or push.
-        heard_at: Time of the latest poll, in seconds of the monotonic clock.
-        document_at: Time at which a document was last sent to the VM, in seconds of
-            the monotonic clock.
+        last_poll_at: Time of the latest poll, in seconds of the monotonic clock.
+        document_sent_at: Time at which a document was last sent to the VM, in seconds
+            of the monotonic clock.
     """
 
     poll: FeedPoll
@@ -45,9 +45,9 @@
         vm: Name of the control VM.
         zone: Availability zone of the control VM.
         incarnation: Identifier of the control VM's process.
-        follower_silent_s: Seconds without a poll after which a follower is removed.
-        document_gap_s: Minimum seconds between two documents sent to one follower, so
-            that a burst of changes does not saturate its link.
+        follower_timeout_s: Seconds without a poll after which a follower is removed.
+        min_document_interval_s: Minimum seconds between two documents sent to one
+            follower, so that a burst of changes does not saturate its link.
     """
 
     vm: VmId
--- a/libs/registry/src/kumquatmux_registry/settings.py
+++ b/libs/registry/src/kumquatmux_registry/settings.py
@@ -13,7 +13,7 @@
             as late. Allows for lost reports and reports sent to another VM.
         holder_silent_s: Seconds without a message from a holder after which its
             servers are marked as late too, unless they report to another VM.
-        forget_after_s: Seconds for which the record of an ended server is kept;
+        ended_retention_s: Seconds for which the record of an ended server is kept;
             longer than any flow to the server lasts.
         page_size: Maximum number of records in one feed answer, which limits the
             size of the message.
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -28,7 +28,7 @@
 
     Attributes:
         held: Entry with the newest record of each server name.
-        by_endpoint: Name of the server that last claimed each endpoint.
+        name_by_endpoint: Name of the server that last claimed each endpoint.
         position: Sequence number of the latest change.
     """
 
