Rename found to vms

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/publisher.py found vms

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -118,14 +118,14 @@
 
     def entry_vms(self, zone: ZoneName) -> tuple[VmId, ...]:
         """Return the live entry VMs of a zone that are not shutting down."""
-        found = [
+        vms = [
             vm
             for vm, one in self.followers.items()
             if one.poll.zone == zone
             and not one.poll.is_control
             and not one.poll.is_stopping
         ]
-        return tuple(sorted(found))
+        return tuple(sorted(vms))
 
     def _build_answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
         mine = self.settings
