Rename mine to settings

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/publisher.py mine settings

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -128,22 +128,22 @@
         return tuple(sorted(vms))
 
     def _build_answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
-        mine = self.settings
-        since = poll.position if poll.incarnation == mine.incarnation else 0
+        settings = self.settings
+        since = poll.position if poll.incarnation == settings.incarnation else 0
         limit = self.leases.settings.page_size
         page = self.leases.table.entries_after(since, limit)
         follower = self.followers[poll.sender]
         sends_document = self._is_document_due(follower._replace(poll=poll), now)
         position = page[-1].position if page else max(since, 0)
-        moved = poll._replace(incarnation=mine.incarnation, position=position)
+        moved = poll._replace(incarnation=settings.incarnation, position=position)
         if sends_document:
             moved = moved._replace(document=self.document.number)
             follower = follower._replace(document_sent_at=now)
         self.followers[poll.sender] = follower._replace(poll=moved)
         return FeedAnswer(
-            mine.vm,
-            mine.zone,
-            mine.incarnation,
+            settings.vm,
+            settings.zone,
+            settings.incarnation,
             since,
             position,
             tuple(held.record for held in page),
