--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -135,11 +135,13 @@
         follower = self.followers[poll.sender]
         sends_document = self._is_document_due(follower._replace(poll=poll), now)
         position = page[-1].position if page else max(since, 0)
-        moved = poll._replace(incarnation=settings.incarnation, position=position)
+        advanced_poll = poll._replace(
+            incarnation=settings.incarnation, position=position
+        )
         if sends_document:
-            moved = moved._replace(document=self.document.number)
+            advanced_poll = advanced_poll._replace(document=self.document.number)
             follower = follower._replace(document_sent_at=now)
-        self.followers[poll.sender] = follower._replace(poll=moved)
+        self.followers[poll.sender] = follower._replace(poll=advanced_poll)
         return FeedAnswer(
             settings.vm,
             settings.zone,
