Rename is_asked_for to is_wanted

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/publisher.py is_asked_for is_wanted

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -163,7 +163,7 @@
         """
         poll = follower.poll
         is_behind = poll.document < self.document.number
-        is_asked_for = is_behind and poll.wants_push and not poll.is_control
-        return is_asked_for and (
+        is_wanted = is_behind and poll.wants_push and not poll.is_control
+        return is_wanted and (
             now - follower.document_sent_at >= self.settings.min_document_interval_s
         )
