Rename mine to settings

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/follower.py mine settings

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -194,16 +194,16 @@
 
     def _build_poll(self, vm: VmId, primary: VmId | None, now: float) -> FeedPoll:
         source = self.sources[vm]
-        mine = self.settings
+        settings = self.settings
         is_behind = source.document > self.document.number
         return FeedPoll(
-            mine.vm,
-            mine.zone,
-            mine.is_control,
+            settings.vm,
+            settings.zone,
+            settings.is_control,
             source.incarnation,
             source.position,
             self.document.number,
-            mine.is_control or vm == primary or is_behind or primary is None,
+            settings.is_control or vm == primary or is_behind or primary is None,
             self.is_stopping,
         )
 
