Rename is_told_soon to was_polled_recently

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/follower.py is_told_soon was_polled_recently

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -169,10 +169,10 @@
             return poll if poll.wants_push else None
         source = self.sources[answer.sender]
         is_behind = answer.document > self.document.number
-        is_told_soon = (
+        was_polled_recently = (
             now - source.document_polled_at < self.settings.min_document_poll_interval_s
         )
-        if not is_behind or is_told_soon:
+        if not is_behind or was_polled_recently:
             return None
         source.document_polled_at = now
         return poll
