Rename former to previous_number

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/follower.py former previous_number

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -183,12 +183,12 @@
 
     def _store_document(self, answer: FeedAnswer) -> None:
         if answer.content and answer.document > self.document.number:
-            former = self.document.number
+            previous_number = self.document.number
             self.document = Document(answer.document, answer.content)
             log_decision(
                 "document-in-force",
                 number=answer.document,
-                former=former,
+                former=previous_number,
                 source=answer.sender,
             )
 
