Rename near to local_vms

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/follower.py near local_vms

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -220,7 +220,7 @@
         """
         if self.settings.is_control:
             return list(self.sources)
-        near = [
+        local_vms = [
             vm
             for vm, one in self.sources.items()
             if self._is_local_or_unknown_zone(one)
@@ -236,7 +236,7 @@
             vms = by_zone[zone]
             fresh = [vm for vm in vms if self.sources[vm].heard_at > limit]
             chosen += fresh[:1] or vms
-        return near + chosen
+        return local_vms + chosen
 
     def _is_local_or_unknown_zone(self, source: SourceState) -> bool:
         return source.zone in (self.settings.zone, "")
