Rename chosen to remote_vms

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/follower.py chosen remote_vms

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -231,12 +231,12 @@
             if not self._is_local_or_unknown_zone(source):
                 by_zone.setdefault(source.zone, []).append(vm)
         limit = now - self.settings.silent_s
-        chosen: list[VmId] = []
+        remote_vms: list[VmId] = []
         for zone in sorted(by_zone)[: self.settings.max_other_zones]:
             vms = by_zone[zone]
             fresh = [vm for vm in vms if self.sources[vm].heard_at > limit]
-            chosen += fresh[:1] or vms
-        return local_vms + chosen
+            remote_vms += fresh[:1] or vms
+        return local_vms + remote_vms
 
     def _is_local_or_unknown_zone(self, source: SourceState) -> bool:
         return source.zone in (self.settings.zone, "")
