Rename fresh to available_vms

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/follower.py fresh available_vms

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -234,8 +234,8 @@
         remote_vms: list[VmId] = []
         for zone in sorted(by_zone)[: self.settings.max_other_zones]:
             vms = by_zone[zone]
-            fresh = [vm for vm in vms if self.sources[vm].heard_at > limit]
-            remote_vms += fresh[:1] or vms
+            available_vms = [vm for vm in vms if self.sources[vm].heard_at > limit]
+            remote_vms += available_vms[:1] or vms
         return local_vms + remote_vms
 
     def _is_local_or_unknown_zone(self, source: SourceState) -> bool:
