--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -230,11 +230,13 @@
             source = self.sources[vm]
             if not self._is_local_or_unknown_zone(source):
                 by_zone.setdefault(source.zone, []).append(vm)
-        limit = now - self.settings.silent_s
+        oldest_allowed = now - self.settings.silent_s
         remote_vms: list[VmId] = []
         for zone in sorted(by_zone)[: self.settings.max_other_zones]:
             vms = by_zone[zone]
-            available_vms = [vm for vm in vms if self.sources[vm].heard_at > limit]
+            available_vms = [
+                vm for vm in vms if self.sources[vm].heard_at > oldest_allowed
+            ]
             remote_vms += available_vms[:1] or vms
         return local_vms + remote_vms
 
