--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -110,8 +110,10 @@
 
         Up-to-date control VMs come first, then those in the same zone.
         """
-        limit = now - self.settings.silent_s
-        fresh = [vm for vm, one in self.sources.items() if one.heard_at > limit]
+        oldest_allowed = now - self.settings.silent_s
+        fresh = [
+            vm for vm, one in self.sources.items() if one.heard_at > oldest_allowed
+        ]
         return min(fresh, key=self._preference_key, default=None)
 
     def is_fed(self, now: float) -> bool:
