--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -118,9 +118,10 @@
 
     def is_fed(self, now: float) -> bool:
         """Return whether an up-to-date control VM has answered recently."""
-        limit = now - self.settings.silent_s
+        oldest_allowed = now - self.settings.silent_s
         return any(
-            one.heard_at > limit and one.is_current for one in self.sources.values()
+            one.heard_at > oldest_allowed and one.is_current
+            for one in self.sources.values()
         )
 
     def silent_zones(self, now: float) -> frozenset[ZoneName]:
