Rename limit to oldest_allowed

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/follower.py limit oldest_allowed

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -126,14 +126,14 @@
 
     def silent_zones(self, now: float) -> frozenset[ZoneName]:
         """Return the zones in which no followed control VM has answered recently."""
-        limit = now - self.settings.silent_s
+        oldest_allowed = now - self.settings.silent_s
         latest: dict[ZoneName, float] = {}
         for vm in self._sources_to_poll(now):
             source = self.sources[vm]
             heard = latest.get(source.zone, -math.inf)
             latest[source.zone] = max(heard, source.heard_at)
         return frozenset(
-            zone for zone, heard in latest.items() if zone and heard < limit
+            zone for zone, heard in latest.items() if zone and heard < oldest_allowed
         )
 
     def take(self, answer: FeedAnswer, now: float) -> None:
