--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -12,7 +12,7 @@
 CODEC = registry(MESSAGE_TYPES)
 
 
-def report(name):
+def make_report(name):
     place = Endpoint("10.0.0.9", int(name[2:]))
     return Report(
         Lifetime(name, 1), 1, "entries", place, "a", "v1", 2, Phase.READY, 0.0
@@ -41,7 +41,7 @@
 
 def test_a_follower_gets_records_and_the_document_once():
     source = publisher()
-    source.leases.report(report("i-1"), 0.0)
+    source.leases.report(make_report("i-1"), 0.0)
     source.document = Document(4, b"four")
     mine = follower()
     first = exchange(mine, source, 1.0)[0]
@@ -57,7 +57,7 @@
     mine = follower()
     exchange(mine, source, 0.0)
     exchange(mine, source, 0.5)
-    source.leases.report(report("i-1"), 0.6)
+    source.leases.report(make_report("i-1"), 0.6)
     source.document = Document(4, b"four")
     pushed = source.push(0.6)
     assert pushed[0][0] == "e1"
@@ -109,7 +109,7 @@
 def test_records_come_in_pages_until_all_are_there():
     source = publisher(page=2)
     for number in range(1, 6):
-        source.leases.report(report(f"i-{number}"), 0.0)
+        source.leases.report(make_report(f"i-{number}"), 0.0)
     mine = follower()
     names = []
     for at in range(4):
@@ -122,10 +122,10 @@
 def test_a_restarted_source_is_read_from_its_beginning():
     mine = follower()
     before = publisher(incarnation=7)
-    before.leases.report(report("i-1"), 0.0)
+    before.leases.report(make_report("i-1"), 0.0)
     exchange(mine, before, 0.0)
     after = publisher(incarnation=8)
-    after.leases.report(report("i-2"), 1.0)
+    after.leases.report(make_report("i-2"), 1.0)
     exchange(mine, after, 1.0)
     answer = exchange(mine, after, 2.0)
     assert mine.sources["c1"].position == 1
