--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -19,7 +19,7 @@
     )
 
 
-def publisher(vm="c1", zone="a", incarnation=7, page=64):
+def make_publisher(vm="c1", zone="a", incarnation=7, page=64):
     leases = Leases(RegistrySettings(page_size=page), vm)
     return Publisher(PublisherSettings(vm, zone, incarnation), leases)
 
@@ -40,7 +40,7 @@
 
 
 def test_a_follower_gets_records_and_the_document_once():
-    source = publisher()
+    source = make_publisher()
     source.leases.report(make_report("i-1"), 0.0)
     source.document = Document(4, b"four")
     mine = follower()
@@ -53,7 +53,7 @@
 
 
 def test_a_push_that_was_lost_is_made_good_by_the_next_poll():
-    source = publisher()
+    source = make_publisher()
     mine = follower()
     exchange(mine, source, 0.0)
     exchange(mine, source, 0.5)
@@ -68,7 +68,7 @@
 
 
 def test_a_document_is_not_pushed_twice_before_the_next_poll():
-    source = publisher()
+    source = make_publisher()
     mine = follower()
     exchange(mine, source, 0.0)
     source.document = Document(4, b"four")
@@ -78,7 +78,7 @@
 
 def test_many_changes_in_a_row_send_a_follower_only_some_of_the_documents():
     """Guard against bursts of large documents that saturate a slow link."""
-    source = publisher()
+    source = make_publisher()
     mine = follower()
     exchange(mine, source, 0.0)
     sent = []
@@ -95,7 +95,7 @@
 
 def test_a_document_that_was_only_named_is_asked_for_once_in_a_while():
     mine = follower(seeds=("c1", "c2"))
-    near, far = publisher("c1", "a"), publisher("c2", "b", incarnation=9)
+    near, far = make_publisher("c1", "a"), make_publisher("c2", "b", incarnation=9)
     near.is_current = far.is_current = True
     exchange(mine, near, 0.0)
     far.document = Document(5, b"five")
@@ -107,7 +107,7 @@
 
 
 def test_records_come_in_pages_until_all_are_there():
-    source = publisher(page=2)
+    source = make_publisher(page=2)
     for number in range(1, 6):
         source.leases.report(make_report(f"i-{number}"), 0.0)
     mine = follower()
@@ -121,10 +121,10 @@
 
 def test_a_restarted_source_is_read_from_its_beginning():
     mine = follower()
-    before = publisher(incarnation=7)
+    before = make_publisher(incarnation=7)
     before.leases.report(make_report("i-1"), 0.0)
     exchange(mine, before, 0.0)
-    after = publisher(incarnation=8)
+    after = make_publisher(incarnation=8)
     after.leases.report(make_report("i-2"), 1.0)
     exchange(mine, after, 1.0)
     answer = exchange(mine, after, 2.0)
@@ -134,7 +134,7 @@
 
 def test_an_older_document_never_replaces_a_newer_one():
     mine = follower(seeds=("c1", "c2"))
-    newer, older = publisher("c1"), publisher("c2", incarnation=9)
+    newer, older = make_publisher("c1"), make_publisher("c2", incarnation=9)
     newer.document, older.document = Document(9, b"nine"), Document(8, b"eight")
     exchange(mine, newer, 0.0)
     exchange(mine, older, 0.1)
@@ -143,7 +143,7 @@
 
 def test_the_primary_is_near_and_current_before_it_is_near():
     mine = follower(seeds=("c1", "c2"))
-    near, far = publisher("c1", "a"), publisher("c2", "b")
+    near, far = make_publisher("c1", "a"), make_publisher("c2", "b")
     near.is_current = far.is_current = True
     exchange(mine, near, 0.0)
     exchange(mine, far, 0.0)
@@ -155,7 +155,7 @@
 
 def test_a_silent_source_is_not_relied_on():
     mine = follower()
-    source = publisher()
+    source = make_publisher()
     source.is_current = True
     exchange(mine, source, 0.0)
     assert mine.is_fed(1.0)
@@ -165,7 +165,7 @@
 
 def test_control_vms_that_others_name_are_followed_too():
     mine = follower(seeds=("c1",))
-    source = publisher("c1")
+    source = make_publisher("c1")
     poll = Follower(FollowerSettings("c2", "b", True, ("c1",))).polls(0.0)[0][1]
     source.answer(poll, 0.0)
     exchange(mine, source, 0.0)
@@ -173,7 +173,7 @@
 
 
 def test_a_follower_that_fell_silent_gets_no_pushes():
-    source = publisher()
+    source = make_publisher()
     exchange(follower(), source, 0.0)
     assert source.push(2.9)
     assert source.push(3.1) == []
@@ -181,7 +181,11 @@
 
 def test_a_zone_is_silent_when_none_of_its_control_vms_answers():
     mine = follower(seeds=("c1", "c2", "c3"))
-    sources = [publisher("c1", "a"), publisher("c2", "b"), publisher("c3", "b")]
+    sources = [
+        make_publisher("c1", "a"),
+        make_publisher("c2", "b"),
+        make_publisher("c3", "b"),
+    ]
     for source in sources:
         exchange(mine, source, 0.0)
     assert mine.silent_zones(1.0) == frozenset()
@@ -193,14 +197,18 @@
 
 def test_of_each_other_zone_one_control_vm_that_answers_is_followed():
     mine = follower(seeds=("c1", "c2", "c3"))
-    for source in (publisher("c1"), publisher("c2", "b"), publisher("c3", "b")):
+    for source in (
+        make_publisher("c1"),
+        make_publisher("c2", "b"),
+        make_publisher("c3", "b"),
+    ):
         exchange(mine, source, 0.0)
     assert [vm for vm, _ in mine.polls(0.1)] == ["c1", "c2"]
     assert [vm for vm, _ in mine.polls(2.0)] == ["c1", "c2", "c3"]
 
 
 def test_an_entry_vm_that_stops_is_named_no_more():
-    source = publisher()
+    source = make_publisher()
     mine = follower()
     assert exchange(mine, source, 0.0)[0].entries == ("e1",)
     mine.is_stopping = True
