--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -24,7 +24,7 @@
     return Publisher(PublisherSettings(vm, zone, incarnation), leases)
 
 
-def follower(seeds=("c1",), zone="a"):
+def make_follower(seeds=("c1",), zone="a"):
     return Follower(FollowerSettings("e1", zone, False, seeds, page_size=2))
 
 
@@ -43,7 +43,7 @@
     source = make_publisher()
     source.leases.report(make_report("i-1"), 0.0)
     source.document = Document(4, b"four")
-    mine = follower()
+    mine = make_follower()
     first = exchange(mine, source, 1.0)[0]
     assert [one.report.lifetime.name for one in first.records] == ["i-1"]
     assert mine.document == Document(4, b"four")
@@ -54,7 +54,7 @@
 
 def test_a_push_that_was_lost_is_made_good_by_the_next_poll():
     source = make_publisher()
-    mine = follower()
+    mine = make_follower()
     exchange(mine, source, 0.0)
     exchange(mine, source, 0.5)
     source.leases.report(make_report("i-1"), 0.6)
@@ -69,7 +69,7 @@
 
 def test_a_document_is_not_pushed_twice_before_the_next_poll():
     source = make_publisher()
-    mine = follower()
+    mine = make_follower()
     exchange(mine, source, 0.0)
     source.document = Document(4, b"four")
     assert source.push(0.1)[0][1].content == b"four"
@@ -79,7 +79,7 @@
 def test_many_changes_in_a_row_send_a_follower_only_some_of_the_documents():
     """Guard against bursts of large documents that saturate a slow link."""
     source = make_publisher()
-    mine = follower()
+    mine = make_follower()
     exchange(mine, source, 0.0)
     sent = []
     for step in range(40):
@@ -94,7 +94,7 @@
 
 
 def test_a_document_that_was_only_named_is_asked_for_once_in_a_while():
-    mine = follower(seeds=("c1", "c2"))
+    mine = make_follower(seeds=("c1", "c2"))
     near, far = make_publisher("c1", "a"), make_publisher("c2", "b", incarnation=9)
     near.is_current = far.is_current = True
     exchange(mine, near, 0.0)
@@ -110,7 +110,7 @@
     source = make_publisher(page=2)
     for number in range(1, 6):
         source.leases.report(make_report(f"i-{number}"), 0.0)
-    mine = follower()
+    mine = make_follower()
     names = []
     for at in range(4):
         answer = exchange(mine, source, float(at))[0]
@@ -120,7 +120,7 @@
 
 
 def test_a_restarted_source_is_read_from_its_beginning():
-    mine = follower()
+    mine = make_follower()
     before = make_publisher(incarnation=7)
     before.leases.report(make_report("i-1"), 0.0)
     exchange(mine, before, 0.0)
@@ -133,7 +133,7 @@
 
 
 def test_an_older_document_never_replaces_a_newer_one():
-    mine = follower(seeds=("c1", "c2"))
+    mine = make_follower(seeds=("c1", "c2"))
     newer, older = make_publisher("c1"), make_publisher("c2", incarnation=9)
     newer.document, older.document = Document(9, b"nine"), Document(8, b"eight")
     exchange(mine, newer, 0.0)
@@ -142,7 +142,7 @@
 
 
 def test_the_primary_is_near_and_current_before_it_is_near():
-    mine = follower(seeds=("c1", "c2"))
+    mine = make_follower(seeds=("c1", "c2"))
     near, far = make_publisher("c1", "a"), make_publisher("c2", "b")
     near.is_current = far.is_current = True
     exchange(mine, near, 0.0)
@@ -154,7 +154,7 @@
 
 
 def test_a_silent_source_is_not_relied_on():
-    mine = follower()
+    mine = make_follower()
     source = make_publisher()
     source.is_current = True
     exchange(mine, source, 0.0)
@@ -164,7 +164,7 @@
 
 
 def test_control_vms_that_others_name_are_followed_too():
-    mine = follower(seeds=("c1",))
+    mine = make_follower(seeds=("c1",))
     source = make_publisher("c1")
     poll = Follower(FollowerSettings("c2", "b", True, ("c1",))).polls(0.0)[0][1]
     source.answer(poll, 0.0)
@@ -174,13 +174,13 @@
 
 def test_a_follower_that_fell_silent_gets_no_pushes():
     source = make_publisher()
-    exchange(follower(), source, 0.0)
+    exchange(make_follower(), source, 0.0)
     assert source.push(2.9)
     assert source.push(3.1) == []
 
 
 def test_a_zone_is_silent_when_none_of_its_control_vms_answers():
-    mine = follower(seeds=("c1", "c2", "c3"))
+    mine = make_follower(seeds=("c1", "c2", "c3"))
     sources = [
         make_publisher("c1", "a"),
         make_publisher("c2", "b"),
@@ -196,7 +196,7 @@
 
 
 def test_of_each_other_zone_one_control_vm_that_answers_is_followed():
-    mine = follower(seeds=("c1", "c2", "c3"))
+    mine = make_follower(seeds=("c1", "c2", "c3"))
     for source in (
         make_publisher("c1"),
         make_publisher("c2", "b"),
@@ -209,7 +209,7 @@
 
 def test_an_entry_vm_that_stops_is_named_no_more():
     source = make_publisher()
-    mine = follower()
+    mine = make_follower()
     assert exchange(mine, source, 0.0)[0].entries == ("e1",)
     mine.is_stopping = True
     assert exchange(mine, source, 0.1)[0].entries == ()
