--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -28,7 +28,7 @@
     return Follower(FollowerSettings("e1", zone, False, seeds, page_size=2))
 
 
-def exchange(one, other, now):
+def poll_publisher(one, other, now):
     """Poll a publisher once and return its answers after a codec round trip."""
     answers = []
     for vm, poll in one.polls(now):
@@ -44,10 +44,10 @@
     source.leases.report(make_report("i-1"), 0.0)
     source.document = Document(4, b"four")
     mine = make_follower()
-    first = exchange(mine, source, 1.0)[0]
+    first = poll_publisher(mine, source, 1.0)[0]
     assert [one.report.lifetime.name for one in first.records] == ["i-1"]
     assert mine.document == Document(4, b"four")
-    second = exchange(mine, source, 2.0)[0]
+    second = poll_publisher(mine, source, 2.0)[0]
     assert second.records == ()
     assert second.content == b""
 
@@ -55,14 +55,14 @@
 def test_a_push_that_was_lost_is_made_good_by_the_next_poll():
     source = make_publisher()
     mine = make_follower()
-    exchange(mine, source, 0.0)
-    exchange(mine, source, 0.5)
+    poll_publisher(mine, source, 0.0)
+    poll_publisher(mine, source, 0.5)
     source.leases.report(make_report("i-1"), 0.6)
     source.document = Document(4, b"four")
     pushed = source.push(0.6)
     assert pushed[0][0] == "e1"
     assert pushed[0][1].content == b"four"
-    answer = exchange(mine, source, 1.0)[0]
+    answer = poll_publisher(mine, source, 1.0)[0]
     assert len(answer.records) == 1
     assert mine.document.number == 4
 
@@ -70,7 +70,7 @@
 def test_a_document_is_not_pushed_twice_before_the_next_poll():
     source = make_publisher()
     mine = make_follower()
-    exchange(mine, source, 0.0)
+    poll_publisher(mine, source, 0.0)
     source.document = Document(4, b"four")
     assert source.push(0.1)[0][1].content == b"four"
     assert source.push(0.2)[0][1].content == b""
@@ -80,7 +80,7 @@
     """Guard against bursts of large documents that saturate a slow link."""
     source = make_publisher()
     mine = make_follower()
-    exchange(mine, source, 0.0)
+    poll_publisher(mine, source, 0.0)
     sent = []
     for step in range(40):
         now = 0.1 + step * 0.05
@@ -97,9 +97,9 @@
     mine = make_follower(seeds=("c1", "c2"))
     near, far = make_publisher("c1", "a"), make_publisher("c2", "b", incarnation=9)
     near.is_current = far.is_current = True
-    exchange(mine, near, 0.0)
+    poll_publisher(mine, near, 0.0)
     far.document = Document(5, b"five")
-    answer = exchange(mine, far, 0.1)[0]
+    answer = poll_publisher(mine, far, 0.1)[0]
     assert answer.content == b""
     assert mine.poll_after(answer, 0.1).wants_push
     assert mine.poll_after(answer, 0.2) is None
@@ -113,7 +113,7 @@
     mine = make_follower()
     names = []
     for at in range(4):
-        answer = exchange(mine, source, float(at))[0]
+        answer = poll_publisher(mine, source, float(at))[0]
         names += [one.report.lifetime.name for one in answer.records]
         assert mine.has_more(answer) == (len(answer.records) == 2)
     assert names == ["i-1", "i-2", "i-3", "i-4", "i-5"]
@@ -123,11 +123,11 @@
     mine = make_follower()
     before = make_publisher(incarnation=7)
     before.leases.report(make_report("i-1"), 0.0)
-    exchange(mine, before, 0.0)
+    poll_publisher(mine, before, 0.0)
     after = make_publisher(incarnation=8)
     after.leases.report(make_report("i-2"), 1.0)
-    exchange(mine, after, 1.0)
-    answer = exchange(mine, after, 2.0)
+    poll_publisher(mine, after, 1.0)
+    answer = poll_publisher(mine, after, 2.0)
     assert mine.sources["c1"].position == 1
     assert answer[0].records == ()
 
@@ -136,8 +136,8 @@
     mine = make_follower(seeds=("c1", "c2"))
     newer, older = make_publisher("c1"), make_publisher("c2", incarnation=9)
     newer.document, older.document = Document(9, b"nine"), Document(8, b"eight")
-    exchange(mine, newer, 0.0)
-    exchange(mine, older, 0.1)
+    poll_publisher(mine, newer, 0.0)
+    poll_publisher(mine, older, 0.1)
     assert mine.document.number == 9
 
 
@@ -145,11 +145,11 @@
     mine = make_follower(seeds=("c1", "c2"))
     near, far = make_publisher("c1", "a"), make_publisher("c2", "b")
     near.is_current = far.is_current = True
-    exchange(mine, near, 0.0)
-    exchange(mine, far, 0.0)
+    poll_publisher(mine, near, 0.0)
+    poll_publisher(mine, far, 0.0)
     assert mine.primary(0.1) == "c1"
     near.is_current = False
-    exchange(mine, near, 0.2)
+    poll_publisher(mine, near, 0.2)
     assert mine.primary(0.3) == "c2"
 
 
@@ -157,7 +157,7 @@
     mine = make_follower()
     source = make_publisher()
     source.is_current = True
-    exchange(mine, source, 0.0)
+    poll_publisher(mine, source, 0.0)
     assert mine.is_fed(1.0)
     assert not mine.is_fed(1.3)
     assert mine.primary(1.3) is None
@@ -168,13 +168,13 @@
     source = make_publisher("c1")
     poll = Follower(FollowerSettings("c2", "b", True, ("c1",))).polls(0.0)[0][1]
     source.answer(poll, 0.0)
-    exchange(mine, source, 0.0)
+    poll_publisher(mine, source, 0.0)
     assert set(mine.sources) == {"c1", "c2"}
 
 
 def test_a_follower_that_fell_silent_gets_no_pushes():
     source = make_publisher()
-    exchange(make_follower(), source, 0.0)
+    poll_publisher(make_follower(), source, 0.0)
     assert source.push(2.9)
     assert source.push(3.1) == []
 
@@ -187,11 +187,11 @@
         make_publisher("c3", "b"),
     ]
     for source in sources:
-        exchange(mine, source, 0.0)
+        poll_publisher(mine, source, 0.0)
     assert mine.silent_zones(1.0) == frozenset()
-    exchange(mine, sources[0], 1.0)
+    poll_publisher(mine, sources[0], 1.0)
     assert mine.silent_zones(1.5) == {"b"}
-    exchange(mine, sources[2], 1.6)
+    poll_publisher(mine, sources[2], 1.6)
     assert mine.silent_zones(1.7) == frozenset()
 
 
@@ -202,7 +202,7 @@
         make_publisher("c2", "b"),
         make_publisher("c3", "b"),
     ):
-        exchange(mine, source, 0.0)
+        poll_publisher(mine, source, 0.0)
     assert [vm for vm, _ in mine.polls(0.1)] == ["c1", "c2"]
     assert [vm for vm, _ in mine.polls(2.0)] == ["c1", "c2", "c3"]
 
@@ -210,6 +210,6 @@
 def test_an_entry_vm_that_stops_is_named_no_more():
     source = make_publisher()
     mine = make_follower()
-    assert exchange(mine, source, 0.0)[0].entries == ("e1",)
+    assert poll_publisher(mine, source, 0.0)[0].entries == ("e1",)
     mine.is_stopping = True
-    assert exchange(mine, source, 0.1)[0].entries == ()
+    assert poll_publisher(mine, source, 0.1)[0].entries == ()
