--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -10,7 +10,7 @@
 SETTINGS = RegistrySettings(late_after_s=4.0, holder_silent_s=5.0)
 
 
-def report(number=1, born=1, phase=Phase.READY, warm_up_s=0.0, **other):
+def make_report(number=1, born=1, phase=Phase.READY, warm_up_s=0.0, **other):
     base = Report(
         Lifetime("i-1", born),
         number,
@@ -31,50 +31,50 @@
 
 
 def test_a_first_report_is_news_and_a_renewal_is_not(leases):
-    assert leases.report(report(1), 0.0).ok is True
-    assert leases.report(report(2), 1.0).ok is False
+    assert leases.report(make_report(1), 0.0).ok is True
+    assert leases.report(make_report(2), 1.0).ok is False
 
 
 def test_draining_is_news_at_once(leases):
-    leases.report(report(1), 0.0)
-    assert leases.report(report(2, phase=Phase.DRAINING), 1.0).ok is True
+    leases.report(make_report(1), 0.0)
+    assert leases.report(make_report(2, phase=Phase.DRAINING), 1.0).ok is True
 
 
 def test_a_report_that_was_overtaken_changes_nothing(leases):
-    leases.report(report(3, phase=Phase.DRAINING), 0.0)
-    assert leases.report(report(2), 1.0).ok is False
+    leases.report(make_report(3, phase=Phase.DRAINING), 0.0)
+    assert leases.report(make_report(2), 1.0).ok is False
     assert leases.table.get("i-1").report.phase == Phase.DRAINING
 
 
 def test_a_known_start_cannot_turn_into_another_server(leases):
-    leases.report(report(1), 0.0)
-    answer = leases.report(report(2, service="pagesetter"), 1.0)
+    leases.report(make_report(1), 0.0)
+    answer = leases.report(make_report(2, service="pagesetter"), 1.0)
     assert answer.error.code == "other-server"
     assert leases.table.get("i-1").report.service == "entries"
 
 
 def test_a_silent_server_becomes_late_once_and_comes_back(leases):
-    leases.report(report(1), 0.0)
+    leases.report(make_report(1), 0.0)
     assert leases.expire(3.9) is False
     assert leases.expire(4.1) is True
     assert leases.table.get("i-1").is_late
     assert leases.expire(4.2) is False
-    assert leases.report(report(2), 5.0).ok is True
+    assert leases.report(make_report(2), 5.0).ok is True
     assert not leases.table.get("i-1").is_late
 
 
 def test_a_left_server_has_ended_and_only_a_ready_report_brings_it_back(leases):
-    leases.report(report(1), 0.0)
+    leases.report(make_report(1), 0.0)
     assert leases.leave("i-1", 1.0) is True
     assert leases.leave("i-1", 1.1) is False
-    assert leases.report(report(2, phase=Phase.DRAINING), 1.2).ok is False
+    assert leases.report(make_report(2, phase=Phase.DRAINING), 1.2).ok is False
     assert leases.table.get("i-1").report.phase == Phase.ENDED
-    assert leases.report(report(3), 1.3).ok is True
+    assert leases.report(make_report(3), 1.3).ok is True
     assert leases.table.get("i-1").report.phase == Phase.READY
 
 
 def test_the_holder_refutes_a_doubt_about_a_server_that_reports_to_it(leases):
-    leases.report(report(1), 0.0)
+    leases.report(make_report(1), 0.0)
     doubted = leases.table.get("i-1").with_suspicion_toggled()
     assert leases.merge(doubted, 1.0) is True
     assert not leases.table.get("i-1").is_late
@@ -82,7 +82,7 @@
 
 
 def test_servers_of_a_silent_holder_become_late_here_too(leases):
-    leases.merge(ServerRecord(report(1), "c2"), 0.0)
+    leases.merge(ServerRecord(make_report(1), "c2"), 0.0)
     leases.hear_holder("c2", 3.0)
     assert leases.expire(7.9) is False
     assert leases.expire(8.1) is True
@@ -90,15 +90,15 @@
 
 
 def test_a_server_that_moves_here_is_news_and_ours(leases):
-    leases.merge(ServerRecord(report(1), "c2"), 0.0)
-    assert leases.report(report(2), 1.0).ok is True
+    leases.merge(ServerRecord(make_report(1), "c2"), 0.0)
+    assert leases.report(make_report(2), 1.0).ok is True
     assert leases.table.get("i-1").holder == "c1"
 
 
 def test_a_doubt_about_an_earlier_report_is_answered_with_the_latest_one(leases):
-    leases.report(report(1), 0.0)
+    leases.report(make_report(1), 0.0)
     doubted = leases.table.get("i-1").with_suspicion_toggled()
-    leases.report(report(2), 1.0)
+    leases.report(make_report(2), 1.0)
     position = leases.table.position
     assert leases.merge(doubted, 1.5) is True
     told = [held.record for held in leases.table.entries_after(position, 9)]
@@ -106,7 +106,7 @@
 
 
 def test_a_doubt_about_a_server_that_is_silent_here_too_is_not_refuted(leases):
-    leases.report(report(1), 0.0)
+    leases.report(make_report(1), 0.0)
     doubted = leases.table.get("i-1").with_suspicion_toggled()
-    leases.report(report(2), 1.0)
+    leases.report(make_report(2), 1.0)
     assert leases.merge(doubted, 6.0) is False
