--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -8,14 +8,16 @@
 from kumquatmux_registry.table import ServerTable
 
 
-def report(name="i-1", born=1, number=1, service="entries", port=1, phase=Phase.READY):
+def make_report(
+    name="i-1", born=1, number=1, service="entries", port=1, phase=Phase.READY
+):
     place = Endpoint("10.0.0.9", port)
     lifetime = Lifetime(name, born)
     return Report(lifetime, number, service, place, "a", "v1", 2, phase, 0.0)
 
 
 def record(holder="c1", doubts=0, **options):
-    return ServerRecord(report(**options), holder, doubts)
+    return ServerRecord(make_report(**options), holder, doubts)
 
 
 def phases(table):
