--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -16,7 +16,7 @@
     return Report(lifetime, number, service, place, "a", "v1", 2, phase, 0.0)
 
 
-def record(holder="c1", doubts=0, **options):
+def make_record(holder="c1", doubts=0, **options):
     return ServerRecord(make_report(**options), holder, doubts)
 
 
@@ -26,42 +26,42 @@
 
 def test_an_older_record_changes_nothing():
     table = ServerTable()
-    table.merge(record(number=5, phase=Phase.DRAINING), 0.0)
-    assert table.merge(record(number=4), 1.0) == []
+    table.merge(make_record(number=5, phase=Phase.DRAINING), 0.0)
+    assert table.merge(make_record(number=4), 1.0) == []
     assert phases(table) == {"i-1": Phase.DRAINING}
 
 
 def test_a_later_start_replaces_an_earlier_one_whatever_their_numbers():
     table = ServerTable()
-    table.merge(record(born=10, number=90), 0.0)
-    assert table.merge(record(born=11, number=1), 1.0)
+    table.merge(make_record(born=10, number=90), 0.0)
+    assert table.merge(make_record(born=11, number=1), 1.0)
     assert table.get("i-1").report.lifetime.born_ms == 11
 
 
 def test_a_late_report_of_an_ended_start_does_not_bring_it_back():
     table = ServerTable()
-    table.merge(record(born=11, number=1), 0.0)
-    assert table.merge(record(born=10, number=99), 1.0) == []
+    table.merge(make_record(born=11, number=1), 0.0)
+    assert table.merge(make_record(born=10, number=99), 1.0) == []
 
 
 def test_a_newer_server_at_an_address_ends_the_one_before():
     table = ServerTable()
-    table.merge(record(name="i-1", born=10, port=7), 0.0)
-    table.merge(record(name="i-2", born=20, port=7, service="pagesetter"), 1.0)
+    table.merge(make_record(name="i-1", born=10, port=7), 0.0)
+    table.merge(make_record(name="i-2", born=20, port=7, service="pagesetter"), 1.0)
     assert phases(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
 
 
 def test_a_delayed_report_for_an_address_that_was_taken_over_names_no_server():
     table = ServerTable()
-    table.merge(record(name="i-2", born=20, port=7), 0.0)
-    table.merge(record(name="i-1", born=10, port=7), 1.0)
+    table.merge(make_record(name="i-2", born=20, port=7), 0.0)
+    table.merge(make_record(name="i-1", born=10, port=7), 1.0)
     assert phases(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
 
 
 def test_changes_after_a_position_come_in_order_and_in_pages():
     table = ServerTable()
     for number in range(5):
-        table.merge(record(name=f"i-{number}", port=number), 0.0)
+        table.merge(make_record(name=f"i-{number}", port=number), 0.0)
     page = table.entries_after(1, 2)
     assert [held.record.report.lifetime.name for held in page] == ["i-1", "i-2"]
     assert (
@@ -71,14 +71,14 @@
 
 def test_ended_servers_are_forgotten_and_others_are_not():
     table = ServerTable()
-    table.merge(record(name="i-1", port=1, phase=Phase.ENDED), 0.0)
-    table.merge(record(name="i-2", port=2), 0.0)
+    table.merge(make_record(name="i-1", port=1, phase=Phase.ENDED), 0.0)
+    table.merge(make_record(name="i-2", port=2), 0.0)
     table.remove_ended(before=1.0)
     assert list(table.held) == ["i-2"]
 
 
 RECORDS = st.builds(
-    record,
+    make_record,
     holder=st.sampled_from(["c1", "c2"]),
     doubts=st.integers(0, 3),
     name=st.sampled_from(["i-1", "i-2"]),
