--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -20,7 +20,7 @@
     return ServerRecord(make_report(**options), holder, doubts)
 
 
-def phases(table):
+def phases_by_name(table):
     return {name: held.record.report.phase for name, held in table.held.items()}
 
 
@@ -28,7 +28,7 @@
     table = ServerTable()
     table.merge(make_record(number=5, phase=Phase.DRAINING), 0.0)
     assert table.merge(make_record(number=4), 1.0) == []
-    assert phases(table) == {"i-1": Phase.DRAINING}
+    assert phases_by_name(table) == {"i-1": Phase.DRAINING}
 
 
 def test_a_later_start_replaces_an_earlier_one_whatever_their_numbers():
@@ -48,14 +48,14 @@
     table = ServerTable()
     table.merge(make_record(name="i-1", born=10, port=7), 0.0)
     table.merge(make_record(name="i-2", born=20, port=7, service="pagesetter"), 1.0)
-    assert phases(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
+    assert phases_by_name(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
 
 
 def test_a_delayed_report_for_an_address_that_was_taken_over_names_no_server():
     table = ServerTable()
     table.merge(make_record(name="i-2", born=20, port=7), 0.0)
     table.merge(make_record(name="i-1", born=10, port=7), 1.0)
-    assert phases(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
+    assert phases_by_name(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
 
 
 def test_changes_after_a_position_come_in_order_and_in_pages():
