--- a/libs/registry/tests/test_saved.py
+++ b/libs/registry/tests/test_saved.py
@@ -10,9 +10,9 @@
 from kumquatmux_registry.saved import FILE_NAME, SavedServers, decode, encode
 from kumquatmux_storage.memory import MemoryDisk
 
-PLACE = Endpoint("10.0.0.9", 1)
+ENDPOINT = Endpoint("10.0.0.9", 1)
 RECORD = ServerRecord(
-    Report(Lifetime("i-1", 1), 1, "entries", PLACE, "a", "v1", 2, Phase.READY, 0.0),
+    Report(Lifetime("i-1", 1), 1, "entries", ENDPOINT, "a", "v1", 2, Phase.READY, 0.0),
     "c1",
     3,
 )
