Rename test_a_push_that_was_lost_is_made_good_by_the_next_poll to test_next_poll_recovers_a_lost_push

Rename: libs/registry/tests/test_feed.py test_a_push_that_was_lost_is_made_good_by_the_next_poll test_next_poll_recovers_a_lost_push

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -52,7 +52,7 @@
     assert second.content == b""
 
 
-def test_a_push_that_was_lost_is_made_good_by_the_next_poll():
+def test_next_poll_recovers_a_lost_push():
     source = make_publisher()
     mine = make_follower()
     poll_publisher(mine, source, 0.0)
