Rename test_a_document_that_was_only_named_is_asked_for_once_in_a_while to test_polls_for_an_announced_document_are_rate_limited

Rename: libs/registry/tests/test_feed.py test_a_document_that_was_only_named_is_asked_for_once_in_a_while test_polls_for_an_announced_document_are_rate_limited

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -93,7 +93,7 @@
     assert source.push_documents(3.0) == []
 
 
-def test_a_document_that_was_only_named_is_asked_for_once_in_a_while():
+def test_polls_for_an_announced_document_are_rate_limited():
     mine = make_follower(seeds=("c1", "c2"))
     near, far = make_publisher("c1", "a"), make_publisher("c2", "b", incarnation=9)
     near.is_current = far.is_current = True
