Rename test_a_restarted_source_is_read_from_its_beginning to test_restarted_control_vm_is_read_from_the_first_change

Rename: libs/registry/tests/test_feed.py test_a_restarted_source_is_read_from_its_beginning test_restarted_control_vm_is_read_from_the_first_change

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -119,7 +119,7 @@
     assert names == ["i-1", "i-2", "i-3", "i-4", "i-5"]
 
 
-def test_a_restarted_source_is_read_from_its_beginning():
+def test_restarted_control_vm_is_read_from_the_first_change():
     mine = make_follower()
     before = make_publisher(incarnation=7)
     before.leases.report(make_report("i-1"), 0.0)
