Rename test_a_known_start_cannot_turn_into_another_server to test_report_that_changes_the_service_of_a_lifetime_is_rejected

Rename: libs/registry/tests/test_leases.py test_a_known_start_cannot_turn_into_another_server test_report_that_changes_the_service_of_a_lifetime_is_rejected

--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -46,7 +46,7 @@
     assert leases.table.get("i-1").report.phase == Phase.DRAINING
 
 
-def test_a_known_start_cannot_turn_into_another_server(leases):
+def test_report_that_changes_the_service_of_a_lifetime_is_rejected(leases):
     leases.report(make_report(1), 0.0)
     answer = leases.report(make_report(2, service="pagesetter"), 1.0)
     assert answer.error.code == "other-server"
