Rename test_a_report_that_was_overtaken_changes_nothing to test_out_of_order_report_is_ignored

Rename: libs/registry/tests/test_leases.py test_a_report_that_was_overtaken_changes_nothing test_out_of_order_report_is_ignored

--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -40,7 +40,7 @@
     assert leases.report(make_report(2, phase=Phase.DRAINING), 1.0).ok is True
 
 
-def test_a_report_that_was_overtaken_changes_nothing(leases):
+def test_out_of_order_report_is_ignored(leases):
     leases.report(make_report(3, phase=Phase.DRAINING), 0.0)
     assert leases.report(make_report(2), 1.0).ok is False
     assert leases.table.get("i-1").report.phase == Phase.DRAINING
