Rename test_a_full_disk_is_survived to test_full_disk_keeps_the_previous_file

Rename: libs/registry/tests/test_saved.py test_a_full_disk_is_survived test_full_disk_keeps_the_previous_file

--- a/libs/registry/tests/test_saved.py
+++ b/libs/registry/tests/test_saved.py
@@ -30,7 +30,7 @@
     assert SavedServers(MemoryDisk()).load() == []
 
 
-def test_a_full_disk_is_survived():
+def test_full_disk_keeps_the_previous_file():
     disk = MemoryDisk()
     saved = SavedServers(disk)
     saved.save([RECORD])
