Rename test_a_damaged_file_is_left_out to test_damaged_file_is_ignored

Rename: libs/registry/tests/test_saved.py test_a_damaged_file_is_left_out test_damaged_file_is_ignored

--- a/libs/registry/tests/test_saved.py
+++ b/libs/registry/tests/test_saved.py
@@ -39,7 +39,7 @@
     assert saved.load() == [RECORD]
 
 
-def test_a_damaged_file_is_left_out():
+def test_damaged_file_is_ignored():
     disk = MemoryDisk()
     disk.replace(FILE_NAME, encode([RECORD])[:-1])
     assert SavedServers(disk).load() == []
