Rename test_a_server_that_moves_here_is_news_and_ours to test_server_that_reports_to_another_vm_changes_its_holder

Rename: libs/registry/tests/test_leases.py test_a_server_that_moves_here_is_news_and_ours test_server_that_reports_to_another_vm_changes_its_holder

--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -89,7 +89,7 @@
     assert leases.table.get("i-1").is_late
 
 
-def test_a_server_that_moves_here_is_news_and_ours(leases):
+def test_server_that_reports_to_another_vm_changes_its_holder(leases):
     leases.merge(ServerRecord(make_report(1), "c2"), 0.0)
     assert leases.report(make_report(2), 1.0).ok is True
     assert leases.table.get("i-1").holder == "c1"
