Rename document_at to document_sent_at

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/publisher.py document_at document_sent_at

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -81,8 +81,8 @@
         if poll.sender not in self.followers:
             log_decision("feed-follower", vm=poll.sender, zone=poll.zone)
         existing = self.followers.get(poll.sender)
-        document_at = existing.document_sent_at if existing else -math.inf
-        self.followers[poll.sender] = FollowerState(poll, now, document_at)
+        document_sent_at = existing.document_sent_at if existing else -math.inf
+        self.followers[poll.sender] = FollowerState(poll, now, document_sent_at)
         if poll.is_control:
             self.leases.hear_holder(poll.sender, now)
         return self._build_answer(poll, now)
