Rename held to entry

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/publisher.py held entry

--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -148,7 +148,7 @@
             settings.incarnation,
             since,
             position,
-            tuple(held.record for held in page),
+            tuple(entry.record for entry in page),
             self.document.number,
             self.document.content if sends_document else b"",
             self.control_vms(),
