Rename held to entry

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/table.py held entry

--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -69,9 +69,9 @@
 
     def remove_ended(self, before: float) -> None:
         """Remove ended servers whose record last changed before a time."""
-        for name, held in list(self.held.items()):
-            is_ended = held.record.report.phase == Phase.ENDED
-            if is_ended and held.changed_at < before:
+        for name, entry in list(self.held.items()):
+            is_ended = entry.record.report.phase == Phase.ENDED
+            if is_ended and entry.changed_at < before:
                 del self.held[name]
 
     def _store(self, record: ServerRecord, now: float) -> ServerRecord:
