Rename held to entry

The local name says what the value is.

Rename: libs/registry/src/kumquatmux_registry/table.py held entry

--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -64,7 +64,7 @@
     def entries_after(self, position: int, limit: int) -> list[TableEntry]:
         """Return the entries changed after a position, oldest first, up to a limit."""
         newer = [held for held in self.held.values() if held.position > position]
-        newer.sort(key=lambda held: held.position)
+        newer.sort(key=lambda entry: entry.position)
         return newer[:limit]
 
     def remove_ended(self, before: float) -> None:
