Rename test_a_later_start_replaces_an_earlier_one_whatever_their_numbers to test_later_lifetime_replaces_an_earlier_one_regardless_of_report_number

Rename: libs/registry/tests/test_table.py test_a_later_start_replaces_an_earlier_one_whatever_their_numbers test_later_lifetime_replaces_an_earlier_one_regardless_of_report_number

--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -31,7 +31,7 @@
     assert phases_by_name(table) == {"i-1": Phase.DRAINING}
 
 
-def test_a_later_start_replaces_an_earlier_one_whatever_their_numbers():
+def test_later_lifetime_replaces_an_earlier_one_regardless_of_report_number():
     table = ServerTable()
     table.merge(make_record(born=10, number=90), 0.0)
     assert table.merge(make_record(born=11, number=1), 1.0)
