Rename test_a_late_report_of_an_ended_start_does_not_bring_it_back to test_late_report_of_an_earlier_lifetime_is_ignored

Rename: libs/registry/tests/test_table.py test_a_late_report_of_an_ended_start_does_not_bring_it_back test_late_report_of_an_earlier_lifetime_is_ignored

--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -38,7 +38,7 @@
     assert table.get("i-1").report.lifetime.born_ms == 11
 
 
-def test_a_late_report_of_an_ended_start_does_not_bring_it_back():
+def test_late_report_of_an_earlier_lifetime_is_ignored():
     table = ServerTable()
     table.merge(make_record(born=11, number=1), 0.0)
     assert table.merge(make_record(born=10, number=99), 1.0) == []
