Rename test_a_newer_server_at_an_address_ends_the_one_before to test_newer_server_at_an_endpoint_ends_the_previous_one

Rename: libs/registry/tests/test_table.py test_a_newer_server_at_an_address_ends_the_one_before test_newer_server_at_an_endpoint_ends_the_previous_one

--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -44,7 +44,7 @@
     assert table.merge(make_record(born=10, number=99), 1.0) == []
 
 
-def test_a_newer_server_at_an_address_ends_the_one_before():
+def test_newer_server_at_an_endpoint_ends_the_previous_one():
     table = ServerTable()
     table.merge(make_record(name="i-1", born=10, port=7), 0.0)
     table.merge(make_record(name="i-2", born=20, port=7, service="pagesetter"), 1.0)
