Rename test_a_delayed_report_for_an_address_that_was_taken_over_names_no_server to test_delayed_report_for_a_reused_endpoint_is_stored_as_ended

Rename: libs/registry/tests/test_table.py test_a_delayed_report_for_an_address_that_was_taken_over_names_no_server test_delayed_report_for_a_reused_endpoint_is_stored_as_ended

--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -51,7 +51,7 @@
     assert phases_by_name(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
 
 
-def test_a_delayed_report_for_an_address_that_was_taken_over_names_no_server():
+def test_delayed_report_for_a_reused_endpoint_is_stored_as_ended():
     table = ServerTable()
     table.merge(make_record(name="i-2", born=20, port=7), 0.0)
     table.merge(make_record(name="i-1", born=10, port=7), 1.0)
