Rename test_the_primary_is_near_and_current_before_it_is_near to test_primary_prefers_an_up_to_date_control_vm_over_a_local_one

Rename: libs/registry/tests/test_feed.py test_the_primary_is_near_and_current_before_it_is_near test_primary_prefers_an_up_to_date_control_vm_over_a_local_one

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -141,7 +141,7 @@
     assert mine.document.number == 9
 
 
-def test_the_primary_is_near_and_current_before_it_is_near():
+def test_primary_prefers_an_up_to_date_control_vm_over_a_local_one():
     mine = make_follower(seeds=("c1", "c2"))
     near, far = make_publisher("c1", "a"), make_publisher("c2", "b")
     near.is_current = far.is_current = True
