Rename test_a_silent_source_is_not_relied_on to test_silent_control_vm_is_not_used

Rename: libs/registry/tests/test_feed.py test_a_silent_source_is_not_relied_on test_silent_control_vm_is_not_used

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -153,7 +153,7 @@
     assert mine.primary(0.3) == "c2"
 
 
-def test_a_silent_source_is_not_relied_on():
+def test_silent_control_vm_is_not_used():
     mine = make_follower()
     source = make_publisher()
     source.is_current = True
