Rename test_control_vms_that_others_name_are_followed_too to test_control_vms_listed_in_answers_are_followed

Rename: libs/registry/tests/test_feed.py test_control_vms_that_others_name_are_followed_too test_control_vms_listed_in_answers_are_followed

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -163,7 +163,7 @@
     assert mine.primary(1.3) is None
 
 
-def test_control_vms_that_others_name_are_followed_too():
+def test_control_vms_listed_in_answers_are_followed():
     mine = make_follower(seeds=("c1",))
     source = make_publisher("c1")
     poll = Follower(FollowerSettings("c2", "b", True, ("c1",))).polls(0.0)[0][1]
