Rename test_of_each_other_zone_one_control_vm_that_answers_is_followed to test_one_available_control_vm_of_each_other_zone_is_polled

Rename: libs/registry/tests/test_feed.py test_of_each_other_zone_one_control_vm_that_answers_is_followed test_one_available_control_vm_of_each_other_zone_is_polled

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -195,7 +195,7 @@
     assert mine.silent_zones(1.7) == frozenset()
 
 
-def test_of_each_other_zone_one_control_vm_that_answers_is_followed():
+def test_one_available_control_vm_of_each_other_zone_is_polled():
     mine = make_follower(seeds=("c1", "c2", "c3"))
     for source in (
         make_publisher("c1"),
