Rename test_an_entry_vm_that_stops_is_named_no_more to test_stopping_entry_vm_is_no_longer_listed

Rename: libs/registry/tests/test_feed.py test_an_entry_vm_that_stops_is_named_no_more test_stopping_entry_vm_is_no_longer_listed

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -207,7 +207,7 @@
     assert [vm for vm, _ in mine.polls(2.0)] == ["c1", "c2", "c3"]
 
 
-def test_an_entry_vm_that_stops_is_named_no_more():
+def test_stopping_entry_vm_is_no_longer_listed():
     source = make_publisher()
     mine = make_follower()
     assert poll_publisher(mine, source, 0.0)[0].entries == ("e1",)
