Rename test_records_come_in_pages_until_all_are_there to test_records_are_sent_in_pages_until_all_are_received

Rename: libs/registry/tests/test_feed.py test_records_come_in_pages_until_all_are_there test_records_are_sent_in_pages_until_all_are_received

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -106,7 +106,7 @@
     assert mine.poll_after(answer, 0.5) is not None
 
 
-def test_records_come_in_pages_until_all_are_there():
+def test_records_are_sent_in_pages_until_all_are_received():
     source = make_publisher(page=2)
     for number in range(1, 6):
         source.leases.report(make_report(f"i-{number}"), 0.0)
