Rename test_a_left_server_has_ended_and_only_a_ready_report_brings_it_back to test_ended_server_is_restored_only_by_a_ready_report

Rename: libs/registry/tests/test_leases.py test_a_left_server_has_ended_and_only_a_ready_report_brings_it_back test_ended_server_is_restored_only_by_a_ready_report

--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -63,7 +63,7 @@
     assert not leases.table.get("i-1").is_late
 
 
-def test_a_left_server_has_ended_and_only_a_ready_report_brings_it_back(leases):
+def test_ended_server_is_restored_only_by_a_ready_report(leases):
     leases.report(make_report(1), 0.0)
     assert leases.leave("i-1", 1.0) is True
     assert leases.leave("i-1", 1.1) is False
