Rename test_a_doubt_about_an_earlier_report_is_answered_with_the_latest_one to test_suspicion_of_an_earlier_report_is_refuted_with_the_latest_report

Rename: libs/registry/tests/test_leases.py test_a_doubt_about_an_earlier_report_is_answered_with_the_latest_one test_suspicion_of_an_earlier_report_is_refuted_with_the_latest_report

--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -95,7 +95,7 @@
     assert leases.table.get("i-1").holder == "c1"
 
 
-def test_a_doubt_about_an_earlier_report_is_answered_with_the_latest_one(leases):
+def test_suspicion_of_an_earlier_report_is_refuted_with_the_latest_report(leases):
     leases.report(make_report(1), 0.0)
     doubted = leases.table.get("i-1").with_suspicion_toggled()
     leases.report(make_report(2), 1.0)
