Rename test_a_doubt_about_a_server_that_is_silent_here_too_is_not_refuted to test_suspicion_of_a_server_that_is_silent_here_too_is_not_refuted

Rename: libs/registry/tests/test_leases.py test_a_doubt_about_a_server_that_is_silent_here_too_is_not_refuted test_suspicion_of_a_server_that_is_silent_here_too_is_not_refuted

--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -105,7 +105,7 @@
     assert [one.report.number for one in told] == [2]
 
 
-def test_a_doubt_about_a_server_that_is_silent_here_too_is_not_refuted(leases):
+def test_suspicion_of_a_server_that_is_silent_here_too_is_not_refuted(leases):
     leases.report(make_report(1), 0.0)
     doubted = leases.table.get("i-1").with_suspicion_toggled()
     leases.report(make_report(2), 1.0)
