Rename test_the_holder_refutes_a_doubt_about_a_server_that_reports_to_it to test_holder_refutes_suspicion_of_a_server_that_reports_to_it

Rename: libs/registry/tests/test_leases.py test_the_holder_refutes_a_doubt_about_a_server_that_reports_to_it test_holder_refutes_suspicion_of_a_server_that_reports_to_it

--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -73,7 +73,7 @@
     assert leases.table.get("i-1").report.phase == Phase.READY
 
 
-def test_the_holder_refutes_a_doubt_about_a_server_that_reports_to_it(leases):
+def test_holder_refutes_suspicion_of_a_server_that_reports_to_it(leases):
     leases.report(make_report(1), 0.0)
     doubted = leases.table.get("i-1").with_suspicion_toggled()
     assert leases.merge(doubted, 1.0) is True
