--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -128,24 +128,24 @@
         return tuple(sorted(vms))
 
     def _build_answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
-        settings = self.settings
-        since = poll.position if poll.incarnation == settings.incarnation else 0
+        own_settings = self.settings
+        since = poll.position if poll.incarnation == own_settings.incarnation else 0
         limit = self.leases.settings.page_size
         page = self.leases.table.entries_after(since, limit)
         follower = self.followers[poll.sender]
         sends_document = self._is_document_due(follower._replace(poll=poll), now)
         position = page[-1].position if page else max(since, 0)
         advanced_poll = poll._replace(
-            incarnation=settings.incarnation, position=position
+            incarnation=own_settings.incarnation, position=position
         )
         if sends_document:
             advanced_poll = advanced_poll._replace(document=self.document.number)
             follower = follower._replace(document_sent_at=now)
         self.followers[poll.sender] = follower._replace(poll=advanced_poll)
         return FeedAnswer(
-            settings.vm,
-            settings.zone,
-            settings.incarnation,
+            own_settings.vm,
+            own_settings.zone,
+            own_settings.incarnation,
             since,
             position,
             tuple(entry.record for entry in page),
