Rename settings to own_settings

Keeps the local name apart from other names in the file.

Rename: libs/registry/src/kumquatmux_registry/follower.py settings own_settings

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -197,16 +197,16 @@
 
     def _build_poll(self, vm: VmId, primary: VmId | None, now: float) -> FeedPoll:
         source = self.sources[vm]
-        settings = self.settings
+        own_settings = self.settings
         is_behind = source.document > self.document.number
         return FeedPoll(
-            settings.vm,
-            settings.zone,
-            settings.is_control,
+            own_settings.vm,
+            own_settings.zone,
+            own_settings.is_control,
             source.incarnation,
             source.position,
             self.document.number,
-            settings.is_control or vm == primary or is_behind or primary is None,
+            own_settings.is_control or vm == primary or is_behind or primary is None,
             self.is_stopping,
         )
 
