Rename test_a_zone_is_silent_when_none_of_its_control_vms_answers to test_zone_is_silent_when_no_control_vm_in_it_answers

Rename: libs/registry/tests/test_feed.py test_a_zone_is_silent_when_none_of_its_control_vms_answers test_zone_is_silent_when_no_control_vm_in_it_answers

--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -179,7 +179,7 @@
     assert source.push(3.1) == []
 
 
-def test_a_zone_is_silent_when_none_of_its_control_vms_answers():
+def test_zone_is_silent_when_no_control_vm_in_it_answers():
     mine = make_follower(seeds=("c1", "c2", "c3"))
     sources = [
         make_publisher("c1", "a"),
