--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -1,4 +1,4 @@
-"""The side of the feed that asks: what one VM knows and from whom."""
+"""Polling side of the feed: a VM that follows several control VMs."""
 
 from __future__ import annotations
 
@@ -12,19 +12,23 @@
 
 
 class FollowerSettings(NamedTuple):
-    """Whom to follow and how closely.
+    """Settings of a feed follower.
 
     Attributes:
-        vm: This VM.
-        zone: Its availability zone.
-        is_control: Whether it is a control VM.
-        seeds: Control VMs to begin with.
-        silent_s: Seconds without an answer after which a control VM is not relied on.
-        forget_s: Seconds without an answer after which one that is no seed is
-            not asked any more.
-        outside: Other zones of which an entry VM follows a control VM.
-        page_records: Records a full answer carries; another poll follows at once.
-        ask_again_s: Seconds between polls for a document that an answer only named.
+        vm: Name of this VM.
+        zone: Availability zone of this VM.
+        is_control: Whether this VM is a control VM.
+        seeds: Initial control VMs, which are polled permanently.
+        silent_s: Seconds without an answer after which a control VM is considered
+            unavailable.
+        source_retention_s: Seconds without an answer after which a control VM that is
+            not a seed is removed.
+        max_other_zones: Maximum number of other zones in which an entry VM follows
+            control VMs.
+        page_size: Number of records in a full answer; a full answer triggers another
+            poll at once.
+        min_document_poll_interval_s: Minimum seconds between extra polls of one control
+            VM for a document whose number it announced without the content.
     """
 
     vm: VmId
@@ -32,23 +36,24 @@
     is_control: bool
     seeds: tuple[VmId, ...]
     silent_s: float = 1.2
-    forget_s: float = 20.0
-    outside: int = 3
-    page_records: int = 64
-    ask_again_s: float = 0.3
+    source_retention_s: float = 20.0
+    max_other_zones: int = 3
+    page_size: int = 64
+    min_document_poll_interval_s: float = 0.3
 
 
-class Source:
-    """What is known of one control VM.
+class SourceState:
+    """State of one followed control VM.
 
     Attributes:
-        zone: Its zone, empty before its first answer.
-        incarnation: Its process as of its latest answer.
-        position: Change of its table up to which all is known here.
-        document: Newest document it knows of.
-        heard_at: When it answered last, in steady seconds.
-        is_current: Whether it was in touch with a majority then.
-        asked_at: When it was asked for a document that it had named.
+        zone: Availability zone of the control VM; empty before its first answer.
+        incarnation: Identifier of its process, from its latest answer.
+        position: Change of its table up to which this VM has received all changes.
+        document: Number of the newest settings document that it announced.
+        heard_at: Time of its latest answer, in seconds of the monotonic clock.
+        is_current: Whether its latest answer said that its replica was up to date.
+        document_polled_at: Time of the latest extra poll for a document that it
+            announced, in seconds of the monotonic clock.
     """
 
     def __init__(self) -> None:
@@ -58,17 +63,18 @@
         self.document = 0
         self.heard_at = -math.inf
         self.is_current = False
-        self.asked_at = -math.inf
+        self.document_polled_at = -math.inf
 
 
 class Follower:
-    """Follows several control VMs; whoever embeds it merges the records.
+    """Follows the feeds of several control VMs; the caller merges the records.
 
     Attributes:
-        document: The newest agreed document known.
-        peers: Entry VMs of the own zone, this one included.
-        sources: Control VMs by name.
-        is_stopping: Whether this VM ends soon.
+        settings: Settings of the follower.
+        document: Newest settings document received.
+        peers: Entry VMs in this VM's zone, including this one.
+        sources: State of each known control VM, by name.
+        is_stopping: Whether this VM is shutting down.
     """
 
     def __init__(self, settings: FollowerSettings) -> None:
@@ -76,54 +82,63 @@
         self.is_stopping = False
         self.document = Document()
         self.peers: tuple[VmId, ...] = ()
-        self.sources: dict[VmId, Source] = {}
+        self.sources: dict[VmId, SourceState] = {}
         self.set_seeds(settings.seeds)
 
     def set_seeds(self, seeds: tuple[VmId, ...]) -> None:
-        """Never stop asking these control VMs."""
+        """Replace the seeds, the control VMs that are polled permanently."""
         self.settings = self.settings._replace(seeds=seeds)
         for vm in seeds:
             self.add(vm)
 
     def add(self, vm: VmId) -> None:
-        """Ask a control VM too, from now on."""
+        """Add a control VM to the known ones, unless it is this VM."""
         if vm != self.settings.vm:
-            self.sources.setdefault(vm, Source())
+            self.sources.setdefault(vm, SourceState())
 
     def polls(self, now: float) -> list[tuple[VmId, FeedPoll]]:
-        """Return the polls that are due, one for each control VM followed."""
-        self._forget(now)
+        """Return one poll for each followed control VM."""
+        self._remove_silent_sources(now)
         primary = self.primary(now)
-        return [(vm, self._poll(vm, primary, now)) for vm in self._followed(now)]
+        return [
+            (vm, self._build_poll(vm, primary, now))
+            for vm in self._sources_to_poll(now)
+        ]
 
     def primary(self, now: float) -> VmId | None:
-        """Return the control VM to take news from: near, answering and current."""
-        limit = now - self.settings.silent_s
-        fresh = [vm for vm, one in self.sources.items() if one.heard_at > limit]
-        return min(fresh, key=self._preference, default=None)
+        """Return the preferred available control VM, or None if none is available.
+
+        Up-to-date control VMs come first, then those in the same zone.
+        """
+        oldest_allowed = now - self.settings.silent_s
+        fresh = [
+            vm for vm, one in self.sources.items() if one.heard_at > oldest_allowed
+        ]
+        return min(fresh, key=self._preference_key, default=None)
 
     def is_fed(self, now: float) -> bool:
-        """Return whether a current control VM answers."""
-        limit = now - self.settings.silent_s
+        """Return whether an up-to-date control VM has answered recently."""
+        oldest_allowed = now - self.settings.silent_s
         return any(
-            one.heard_at > limit and one.is_current for one in self.sources.values()
+            one.heard_at > oldest_allowed and one.is_current
+            for one in self.sources.values()
         )
 
     def silent_zones(self, now: float) -> frozenset[ZoneName]:
-        """Return the followed zones of which no control VM answers any more."""
-        limit = now - self.settings.silent_s
+        """Return the zones in which no followed control VM has answered recently."""
+        oldest_allowed = now - self.settings.silent_s
         latest: dict[ZoneName, float] = {}
-        for vm in self._followed(now):
+        for vm in self._sources_to_poll(now):
             source = self.sources[vm]
             heard = latest.get(source.zone, -math.inf)
             latest[source.zone] = max(heard, source.heard_at)
         return frozenset(
-            zone for zone, heard in latest.items() if zone and heard < limit
+            zone for zone, heard in latest.items() if zone and heard < oldest_allowed
         )
 
     def take(self, answer: FeedAnswer, now: float) -> None:
-        """Note all that an answer tells but its records."""
-        source = self.sources.setdefault(answer.sender, Source())
+        """Process everything in an answer except its records."""
+        source = self.sources.setdefault(answer.sender, SourceState())
         if source.heard_at == -math.inf:
             log_decision("feed-regained", source=answer.sender)
         if source.incarnation != answer.incarnation:
@@ -139,88 +154,102 @@
             self.add(vm)
         if answer.zone == self.settings.zone and not self.settings.is_control:
             self.peers = answer.entries
-        self._take_document(answer)
+        self._store_document(answer)
 
     def has_more(self, answer: FeedAnswer) -> bool:
-        """Return whether the answer was a full page, so that more may follow."""
-        return len(answer.records) >= self.settings.page_records
+        """Return whether the answer is a full page, so that more records may follow."""
+        return len(answer.records) >= self.settings.page_size
 
     def poll_after(self, answer: FeedAnswer, now: float) -> FeedPoll | None:
-        """Return the poll that an answer makes necessary at once, None for none.
+        """Return the extra poll to send at once after an answer, or None.
 
-        One that carried as many records as fit is followed by another. One of a
-        control VM that is not the primary only names a newer document.
+        A full page requires a poll for the next one. A control VM that is not the
+        primary may announce a newer document without sending its content, which
+        requires a poll for the document.
         """
         poll = self.poll_of(answer.sender, now)
         if self.has_more(answer):
             return poll if poll.wants_push else None
         source = self.sources[answer.sender]
         is_behind = answer.document > self.document.number
-        is_told_soon = now - source.asked_at < self.settings.ask_again_s
-        if not is_behind or is_told_soon:
+        was_polled_recently = (
+            now - source.document_polled_at < self.settings.min_document_poll_interval_s
+        )
+        if not is_behind or was_polled_recently:
             return None
-        source.asked_at = now
+        source.document_polled_at = now
         return poll
 
     def poll_of(self, vm: VmId, now: float) -> FeedPoll:
-        """Return a poll of one control VM."""
-        return self._poll(vm, self.primary(now), now)
+        """Return a poll for one control VM."""
+        return self._build_poll(vm, self.primary(now), now)
 
-    def _take_document(self, answer: FeedAnswer) -> None:
+    def _store_document(self, answer: FeedAnswer) -> None:
         if answer.content and answer.document > self.document.number:
-            former = self.document.number
+            previous_number = self.document.number
             self.document = Document(answer.document, answer.content)
             log_decision(
                 "document-in-force",
                 number=answer.document,
-                former=former,
+                former=previous_number,
                 source=answer.sender,
             )
 
-    def _poll(self, vm: VmId, primary: VmId | None, now: float) -> FeedPoll:
+    def _build_poll(self, vm: VmId, primary: VmId | None, now: float) -> FeedPoll:
         source = self.sources[vm]
-        mine = self.settings
+        own_settings = self.settings
         is_behind = source.document > self.document.number
         return FeedPoll(
-            mine.vm,
-            mine.zone,
-            mine.is_control,
+            own_settings.vm,
+            own_settings.zone,
+            own_settings.is_control,
             source.incarnation,
             source.position,
             self.document.number,
-            mine.is_control or vm == primary or is_behind or primary is None,
+            own_settings.is_control or vm == primary or is_behind or primary is None,
             self.is_stopping,
         )
 
-    def _preference(self, vm: VmId) -> tuple[bool, bool, VmId]:
+    def _preference_key(self, vm: VmId) -> tuple[bool, bool, VmId]:
         source = self.sources[vm]
         return (not source.is_current, source.zone != self.settings.zone, vm)
 
-    def _followed(self, now: float) -> list[VmId]:
-        """Return the near control VMs, and of some other zones one or two each."""
+    def _sources_to_poll(self, now: float) -> list[VmId]:
+        """Return the control VMs to poll.
+
+        A control VM polls all others. An entry VM polls those in its own zone, those
+        whose zone is unknown, and one available control VM in each of a limited number
+        of other zones, or all control VMs of such a zone if none is available.
+        """
         if self.settings.is_control:
             return list(self.sources)
-        near = [vm for vm, one in self.sources.items() if self._is_near(one)]
+        local_vms = [
+            vm
+            for vm, one in self.sources.items()
+            if self._is_local_or_unknown_zone(one)
+        ]
         by_zone: dict[ZoneName, list[VmId]] = {}
         for vm in sorted(self.sources):
             source = self.sources[vm]
-            if not self._is_near(source):
+            if not self._is_local_or_unknown_zone(source):
                 by_zone.setdefault(source.zone, []).append(vm)
-        limit = now - self.settings.silent_s
-        chosen: list[VmId] = []
-        for zone in sorted(by_zone)[: self.settings.outside]:
+        oldest_allowed = now - self.settings.silent_s
+        remote_vms: list[VmId] = []
+        for zone in sorted(by_zone)[: self.settings.max_other_zones]:
             vms = by_zone[zone]
-            fresh = [vm for vm in vms if self.sources[vm].heard_at > limit]
-            chosen += fresh[:1] or vms
-        return near + chosen
+            available_vms = [
+                vm for vm in vms if self.sources[vm].heard_at > oldest_allowed
+            ]
+            remote_vms += available_vms[:1] or vms
+        return local_vms + remote_vms
 
-    def _is_near(self, source: Source) -> bool:
+    def _is_local_or_unknown_zone(self, source: SourceState) -> bool:
         return source.zone in (self.settings.zone, "")
 
-    def _forget(self, now: float) -> None:
+    def _remove_silent_sources(self, now: float) -> None:
         for vm, source in list(self.sources.items()):
             is_seed = vm in self.settings.seeds
-            is_old = source.heard_at < now - self.settings.forget_s
-            if is_old and not is_seed and source.heard_at != -math.inf:
+            is_expired = source.heard_at < now - self.settings.source_retention_s
+            if is_expired and not is_seed and source.heard_at != -math.inf:
                 log_decision("feed-lost", source=vm)
                 del self.sources[vm]
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -1,4 +1,4 @@
-"""Leases of the backend servers that report to one control VM."""
+"""Leases of backend servers, as tracked by one control VM."""
 
 from __future__ import annotations
 
@@ -11,114 +11,134 @@
 from kumquatmux_core.problems import Problem
 from kumquatmux_registry.records import Phase, Report, ServerRecord
 from kumquatmux_registry.settings import RegistrySettings
-from kumquatmux_registry.table import ServerTable, ended
+from kumquatmux_registry.table import ServerTable, mark_ended
 
 
 class Leases:
-    """Takes reports and calls servers late that stop reporting.
+    """Processes server reports and marks servers as late that stop reporting.
 
     Attributes:
-        me: This control VM.
-        table: All that is known of servers.
-        heard: When each server reported here last, in steady seconds.
-        holders: When each other control VM was heard last, in steady seconds.
+        settings: Timeouts of the registry.
+        own_vm: Name of this control VM.
+        table: Records of all servers, including those that report to other VMs.
+        last_report_at: Time of the latest report received here from each server name,
+            in seconds of the monotonic clock.
+        last_holder_message_at: Time of the latest message from each other control VM,
+            in seconds of the monotonic clock.
     """
 
-    def __init__(self, settings: RegistrySettings, me: VmId) -> None:
+    def __init__(self, settings: RegistrySettings, own_vm: VmId) -> None:
         self.settings = settings
-        self.me = me
+        self.own_vm = own_vm
         self.table = ServerTable()
-        self.heard: dict[str, float] = {}
-        self.holders: dict[VmId, float] = {}
+        self.last_report_at: dict[str, float] = {}
+        self.last_holder_message_at: dict[VmId, float] = {}
 
     def report(self, report: Report, now: float) -> Result[bool, Problem]:
-        """Take a report; return whether it is news to others.
+        """Process a report; return whether the other VMs must be told of the change.
 
         Errors:
-            ``other-server`` if a lifetime that is known suddenly serves another
-            service or stands at another address.
+            ``other-server`` if the service, endpoint or zone of a known lifetime
+            changed.
         """
         name = report.lifetime.name
-        known = self.table.get(name)
-        if known is None or known.report.lifetime != report.lifetime:
-            return Ok(self._take(report, now))
-        former = known.report
-        same = (former.service, former.endpoint, former.zone)
-        if (report.service, report.endpoint, report.zone) != same:
+        existing = self.table.get(name)
+        if existing is None or existing.report.lifetime != report.lifetime:
+            return Ok(self._store_report(report, now))
+        previous_report = existing.report
+        previous_identity = (
+            previous_report.service,
+            previous_report.endpoint,
+            previous_report.zone,
+        )
+        if (report.service, report.endpoint, report.zone) != previous_identity:
             detail = f"reports {report.service} at {report.endpoint}"
             return Error(Problem("other-server", detail, name))
-        if report.number <= former.number:
+        if report.number <= previous_report.number:
             return Ok(False)
-        if former.phase == Phase.ENDED and report.phase != Phase.READY:
+        if previous_report.phase == Phase.ENDED and report.phase != Phase.READY:
             return Ok(False)
-        self.heard[name] = now
-        if self._is_news(report, known):
-            return Ok(self._take(report, now))
-        renewed = known._replace(report=report)
-        held = self.table.held[name]
-        self.table.held[name] = held._replace(record=renewed)
+        self.last_report_at[name] = now
+        if self._is_significant(report, existing):
+            return Ok(self._store_report(report, now))
+        renewed = existing._replace(report=report)
+        entry = self.table.held[name]
+        self.table.held[name] = entry._replace(record=renewed)
         return Ok(False)
 
     def leave(self, name: str, now: float) -> bool:
-        """End the lifetime known by a name; return whether that is news."""
-        known = self.table.get(name)
-        if known is None or known.report.phase == Phase.ENDED:
+        """End the current lifetime of a server; return whether the record changed."""
+        existing = self.table.get(name)
+        if existing is None or existing.report.phase == Phase.ENDED:
             return False
-        log_decision("server-left", server=known.report.lifetime)
-        return bool(self.table.merge(ended(known), now))
+        log_decision("server-left", server=existing.report.lifetime)
+        return bool(self.table.merge(mark_ended(existing), now))
 
     def merge(self, record: ServerRecord, now: float) -> bool:
-        """Take a record of another control VM; return whether it is news."""
+        """Merge a record from another control VM; return whether to push an update.
+
+        A suspicion about a server that reports to this VM is refuted.
+        """
         changed = bool(self.table.merge(record, now))
-        if record.is_late and self._refutes(record, now):
-            self.table.renew(record.report.lifetime.name, now)
+        if record.is_late and self._can_refute(record, now):
+            self.table.republish(record.report.lifetime.name, now)
             return True
         return changed
 
     def hear_holder(self, holder: VmId, now: float) -> None:
-        """Note that another control VM is there."""
-        self.holders[holder] = now
+        """Record that a message from another control VM arrived."""
+        self.last_holder_message_at[holder] = now
 
     def expire(self, now: float) -> bool:
-        """Call servers late whose reports stopped; return whether that is news."""
-        is_news = False
-        for held in list(self.table.held.values()):
-            record = held.record
-            is_over = record.is_late or record.report.phase == Phase.ENDED
-            if is_over or not self._is_overdue(record, held.changed_at, now):
+        """Mark servers that stopped reporting as late; return whether any changed.
+
+        Also removes the records of servers that ended long ago.
+        """
+        has_changes = False
+        for entry in list(self.table.held.values()):
+            record = entry.record
+            is_settled = record.is_late or record.report.phase == Phase.ENDED
+            if is_settled or not self._is_overdue(record, entry.changed_at, now):
                 continue
-            is_news |= bool(self.table.merge(record.doubted(), now))
-        self.table.forget(now - self.settings.forget_after_s)
-        return is_news
-
-    def _refutes(self, doubted: ServerRecord, now: float) -> bool:
-        """Return whether a doubted server reports here."""
-        name = doubted.report.lifetime.name
-        known = self.table.get(name)
-        if known is None or known.report.lifetime != doubted.report.lifetime:
+            has_changes |= bool(self.table.merge(record.with_suspicion_toggled(), now))
+        self.table.remove_ended(now - self.settings.ended_retention_s)
+        return has_changes
+
+    def _can_refute(self, suspected: ServerRecord, now: float) -> bool:
+        """Return whether a suspected server has reported to this VM recently."""
+        name = suspected.report.lifetime.name
+        existing = self.table.get(name)
+        if existing is None or existing.report.lifetime != suspected.report.lifetime:
             return False
-        heard = self.heard.get(name, -math.inf)
-        is_heard = heard > now - self.settings.late_after_s
-        return known.holder == self.me and is_heard
+        last_heard_at = self.last_report_at.get(name, -math.inf)
+        is_recent = last_heard_at > now - self.settings.late_after_s
+        return existing.holder == self.own_vm and is_recent
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
-        if record.holder == self.me:
-            heard = self.heard.get(record.report.lifetime.name, changed_at)
-            return heard < now - self.settings.late_after_s
-        limit = now - self.settings.holder_silent_s
-        heard = max(self.holders.get(record.holder, changed_at), changed_at)
-        return heard < limit
-
-    def _is_news(self, report: Report, known: ServerRecord) -> bool:
-        former = known.report
-        is_moved = known.holder != self.me or known.is_late
-        was_cold = former.warm_up_s > 0 and report.warm_up_s <= 0
-        is_changed = (former.phase, former.slots) != (report.phase, report.slots)
-        return is_moved or was_cold or is_changed
-
-    def _take(self, report: Report, now: float) -> bool:
-        record = ServerRecord(report, self.me)
+        if record.holder == self.own_vm:
+            last_heard_at = self.last_report_at.get(
+                record.report.lifetime.name, changed_at
+            )
+            return last_heard_at < now - self.settings.late_after_s
+        oldest_allowed = now - self.settings.holder_silent_s
+        last_heard_at = max(
+            self.last_holder_message_at.get(record.holder, changed_at), changed_at
+        )
+        return last_heard_at < oldest_allowed
+
+    def _is_significant(self, report: Report, existing: ServerRecord) -> bool:
+        previous_report = existing.report
+        is_taken_over_or_recovered = existing.holder != self.own_vm or existing.is_late
+        is_warm_up_over = previous_report.warm_up_s > 0 and report.warm_up_s <= 0
+        is_changed = (previous_report.phase, previous_report.slots) != (
+            report.phase,
+            report.slots,
+        )
+        return is_taken_over_or_recovered or is_warm_up_over or is_changed
+
+    def _store_report(self, report: Report, now: float) -> bool:
+        record = ServerRecord(report, self.own_vm)
         changed = self.table.merge(record, now)
         if changed:
-            self.heard[report.lifetime.name] = now
+            self.last_report_at[report.lifetime.name] = now
         return bool(changed)
--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -1,4 +1,4 @@
-"""The side of the feed that answers: one control VM and who follows it."""
+"""Publishing side of the feed: a control VM that answers polls and pushes updates."""
 
 from __future__ import annotations
 
@@ -12,134 +12,158 @@
 
 
 class Document(NamedTuple):
-    """The newest agreed document.
+    """The newest committed settings document.
 
     Attributes:
-        number: Its number, 0 for none.
-        content: Its packed content.
+        number: Number of the document; 0 if there is none.
+        content: Encoded content of the document.
     """
 
     number: int = 0
     content: bytes = b""
 
 
-class Follower(NamedTuple):
-    """One VM that follows the feed.
+class FollowerState(NamedTuple):
+    """A VM that polls the feed, as tracked by the publisher.
 
     Attributes:
-        poll: Its latest poll, moved on by what was pushed since.
-        heard_at: When it polled last, in steady seconds.
-        document_at: When it was sent a document last, in steady seconds.
+        poll: Latest poll, with position and document advanced by each answer or push.
+        last_poll_at: Time of the latest poll, in seconds of the monotonic clock.
+        document_sent_at: Time at which a document was last sent to the VM, in seconds
+            of the monotonic clock.
     """
 
     poll: FeedPoll
-    heard_at: float
-    document_at: float = -math.inf
+    last_poll_at: float
+    document_sent_at: float = -math.inf
 
 
 class PublisherSettings(NamedTuple):
-    """How a control VM serves its followers.
+    """Settings of the feed publisher on a control VM.
 
     Attributes:
-        vm: The control VM.
-        zone: Its availability zone.
-        incarnation: Its process.
-        follower_silent_s: Seconds without a poll after which a follower is gone.
-        document_gap_s: Seconds between two documents sent to one follower, so that
-            many changes in a row do not fill its link.
+        vm: Name of the control VM.
+        zone: Availability zone of the control VM.
+        incarnation: Identifier of the control VM's process.
+        follower_timeout_s: Seconds without a poll after which a follower is removed.
+        min_document_interval_s: Minimum seconds between two documents sent to one
+            follower, so that a burst of changes does not saturate its link.
     """
 
     vm: VmId
     zone: ZoneName
     incarnation: int
-    follower_silent_s: float = 3.0
-    document_gap_s: float = 0.3
+    follower_timeout_s: float = 3.0
+    min_document_interval_s: float = 0.3
 
 
 class Publisher:
-    """Answers polls and pushes news; a lost push is mended by the next poll."""
+    """Answers polls and pushes updates; the next poll recovers a lost push.
+
+    Attributes:
+        settings: Settings of the publisher.
+        leases: Leases and server records of this control VM.
+        document: Newest committed settings document.
+        is_current: Whether a consensus leader has recently confirmed that the local
+            replica is up to date.
+        followers: VMs that poll this control VM, by name.
+    """
 
     def __init__(self, settings: PublisherSettings, leases: Leases) -> None:
         self.settings = settings
         self.leases = leases
         self.document = Document()
         self.is_current = False
-        self.followers: dict[VmId, Follower] = {}
+        self.followers: dict[VmId, FollowerState] = {}
 
     def answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
-        """Return what a poll asks for."""
+        """Register the sender of a poll as a follower and return the answer."""
         if poll.sender not in self.followers:
             log_decision("feed-follower", vm=poll.sender, zone=poll.zone)
-        known = self.followers.get(poll.sender)
-        document_at = known.document_at if known else -math.inf
-        self.followers[poll.sender] = Follower(poll, now, document_at)
+        existing = self.followers.get(poll.sender)
+        document_sent_at = existing.document_sent_at if existing else -math.inf
+        self.followers[poll.sender] = FollowerState(poll, now, document_sent_at)
         if poll.is_control:
             self.leases.hear_holder(poll.sender, now)
-        return self._answer(poll, now)
+        return self._build_answer(poll, now)
 
     def push(self, now: float) -> list[tuple[VmId, FeedAnswer]]:
-        """Return the news for each follower that wants them at once."""
-        limit = now - self.settings.follower_silent_s
+        """Return the updates to push to each follower that requested pushes.
+
+        Followers that stopped polling are removed first.
+        """
+        oldest_allowed = now - self.settings.follower_timeout_s
         for vm, follower in list(self.followers.items()):
-            if follower.heard_at < limit:
+            if follower.last_poll_at < oldest_allowed:
                 log_decision("feed-follower-gone", vm=vm)
                 del self.followers[vm]
-        wanting = [one.poll for one in self.followers.values() if one.poll.wants_push]
-        return [(poll.sender, self._answer(poll, now)) for poll in wanting]
+        push_polls = [
+            one.poll for one in self.followers.values() if one.poll.wants_push
+        ]
+        return [(poll.sender, self._build_answer(poll, now)) for poll in push_polls]
 
     def push_documents(self, now: float) -> list[tuple[VmId, FeedAnswer]]:
-        """Return the newest document for each follower that is due to get it."""
-        due = [one.poll for one in self.followers.values() if self._is_due(one, now)]
-        return [(poll.sender, self._answer(poll, now)) for poll in due]
+        """Return answers with the newest document for each follower that is due one."""
+        due = [
+            one.poll
+            for one in self.followers.values()
+            if self._is_document_due(one, now)
+        ]
+        return [(poll.sender, self._build_answer(poll, now)) for poll in due]
 
-    def control(self) -> tuple[VmId, ...]:
-        """Return the control VMs that are there, this one included."""
+    def control_vms(self) -> tuple[VmId, ...]:
+        """Return the live control VMs, including this one."""
         others = [vm for vm, one in self.followers.items() if one.poll.is_control]
         return tuple(sorted([self.settings.vm, *others]))
 
-    def entries(self, zone: ZoneName) -> tuple[VmId, ...]:
-        """Return the entry VMs of a zone that are there and stay."""
-        found = [
+    def entry_vms(self, zone: ZoneName) -> tuple[VmId, ...]:
+        """Return the live entry VMs of a zone that are not shutting down."""
+        vms = [
             vm
             for vm, one in self.followers.items()
             if one.poll.zone == zone
             and not one.poll.is_control
             and not one.poll.is_stopping
         ]
-        return tuple(sorted(found))
+        return tuple(sorted(vms))
 
-    def _answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
-        mine = self.settings
-        since = poll.position if poll.incarnation == mine.incarnation else 0
-        limit = self.leases.settings.page_records
-        page = self.leases.table.after(since, limit)
+    def _build_answer(self, poll: FeedPoll, now: float) -> FeedAnswer:
+        own_settings = self.settings
+        since = poll.position if poll.incarnation == own_settings.incarnation else 0
+        limit = self.leases.settings.page_size
+        page = self.leases.table.entries_after(since, limit)
         follower = self.followers[poll.sender]
-        sends_document = self._is_due(follower._replace(poll=poll), now)
+        sends_document = self._is_document_due(follower._replace(poll=poll), now)
         position = page[-1].position if page else max(since, 0)
-        moved = poll._replace(incarnation=mine.incarnation, position=position)
+        advanced_poll = poll._replace(
+            incarnation=own_settings.incarnation, position=position
+        )
         if sends_document:
-            moved = moved._replace(document=self.document.number)
-            follower = follower._replace(document_at=now)
-        self.followers[poll.sender] = follower._replace(poll=moved)
+            advanced_poll = advanced_poll._replace(document=self.document.number)
+            follower = follower._replace(document_sent_at=now)
+        self.followers[poll.sender] = follower._replace(poll=advanced_poll)
         return FeedAnswer(
-            mine.vm,
-            mine.zone,
-            mine.incarnation,
+            own_settings.vm,
+            own_settings.zone,
+            own_settings.incarnation,
             since,
             position,
-            tuple(held.record for held in page),
+            tuple(entry.record for entry in page),
             self.document.number,
             self.document.content if sends_document else b"",
-            self.control(),
-            () if poll.is_control else self.entries(poll.zone),
+            self.control_vms(),
+            () if poll.is_control else self.entry_vms(poll.zone),
             self.is_current,
         )
 
-    def _is_due(self, follower: Follower, now: float) -> bool:
-        """Return whether a follower lacks the document and may be sent it now."""
+    def _is_document_due(self, follower: FollowerState, now: float) -> bool:
+        """Return whether to send a follower the newest document now.
+
+        Control VMs are never due, as they replicate the document by consensus.
+        """
         poll = follower.poll
         is_behind = poll.document < self.document.number
-        is_asked_for = is_behind and poll.wants_push and not poll.is_control
-        return is_asked_for and (
-            now - follower.document_at >= self.settings.document_gap_s
+        is_wanted = is_behind and poll.wants_push and not poll.is_control
+        return is_wanted and (
+            now - follower.document_sent_at >= self.settings.min_document_interval_s
         )
