--- a/libs/lab/tests/test_registrar_faults.py
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -164,7 +164,7 @@
 
 
 def test_without_refutation_a_server_stays_late_after_a_long_cut(world, monkeypatch):
-    monkeypatch.setattr(Leases, "_refutes", lambda *_: False)
+    monkeypatch.setattr(Leases, "_can_refute", lambda *_: False)
     assert late_after_a_long_cut(world) == ["e-a", "e-b", "e-c"]
 
 
