--- a/libs/agreement/src/kumquatmux_agreement/leadership.py
+++ b/libs/agreement/src/kumquatmux_agreement/leadership.py
@@ -70,8 +70,8 @@
         round_sent_at: Start of the latest rounds on the caller's clock, in seconds.
         next_heartbeat_at: Time of the next heartbeat on the steady clock, in seconds.
         leading_since: Time at which leadership began on the steady clock, in seconds.
-        first_index: First entry of the leader's own term. Until it is committed, the
-            leader cannot know which earlier entries are committed.
+        term_start_index: First entry of the leader's own term. Until it is committed,
+            the leader cannot know which earlier entries are committed.
     """
 
     def __init__(
@@ -86,7 +86,7 @@
         self.round_sent_at: dict[int, float] = {}
         self.next_heartbeat_at = steady_now
         self.leading_since = steady_now
-        self.first_index = log.last_index + 1
+        self.term_start_index = log.last_index + 1
         self.track_members(log.configuration, log.last_index + 1, steady_now)
         self.begin_round(now)
 
@@ -103,7 +103,7 @@
         other_members = [
             member
             for member in configuration.members
-            if member != self.settings.replica
+            if member != self.settings.replica_id
         ]
         progress_by_member = {
             member: self.progress.get(member) for member in other_members
@@ -152,17 +152,17 @@
 
         No other replica can become leader before that time.
         """
-        own_id = self.settings.replica
+        own_id = self.settings.replica_id
         acknowledged_times = [
             now if voter == own_id else self.progress[voter].acknowledged_sent_at
             for voter in configuration.voters
         ]
-        lease_duration = self.settings.election_timeout_s * self.settings.lease_share
+        lease_duration = self.settings.election_timeout_s * self.settings.lease_fraction
         return _quorum_value(acknowledged_times, configuration.quorum) + lease_duration
 
     def quorum_round(self, configuration: Configuration) -> int:
         """Return the latest round that a quorum has replied to."""
-        own_id = self.settings.replica
+        own_id = self.settings.replica_id
         rounds = [
             self.round if voter == own_id else self.progress[voter].acknowledged_round
             for voter in configuration.voters
@@ -178,7 +178,7 @@
             configuration: Configuration whose voters are counted.
             persisted_index: Last entry that the leader itself has persisted.
         """
-        own_id = self.settings.replica
+        own_id = self.settings.replica_id
         indexes = [
             persisted_index if voter == own_id else self.progress[voter].match_index
             for voter in configuration.voters
@@ -193,7 +193,7 @@
             for member, progress in self.progress.items()
             if progress.last_contact_at > contact_cutoff
         }
-        return frozenset(recent_members | {self.settings.replica})
+        return frozenset(recent_members | {self.settings.replica_id})
 
     def oldest_sent_snapshot_index(self, steady_now: float) -> int | None:
         """Return the lowest index of a snapshot that is being sent to a live member."""
@@ -217,7 +217,7 @@
             if requested_at > request_cutoff
         }
         self.join_requests = recent_requests
-        members = {*self.progress, self.settings.replica}
+        members = {*self.progress, self.settings.replica_id}
         return tuple(
             sorted(replica for replica in recent_requests if replica not in members)
         )
--- a/libs/agreement/src/kumquatmux_agreement/status.py
+++ b/libs/agreement/src/kumquatmux_agreement/status.py
@@ -16,35 +16,37 @@
         role: Current role.
         term: Current term.
         leader: Leader, or None if unknown.
-        commit: Last entry known to be committed.
+        commit_index: Last entry known to be committed.
         last_index: Last entry of the log.
         snapshot_index: Last entry included in the snapshot.
         configuration: Latest configuration in the log.
-        live: Members that replied recently, if this replica is the leader.
+        live_members: Members that replied recently, if this replica is the leader.
         has_lease: Whether the replica may answer reads without contacting a quorum.
-        is_whole: Whether every wanted VM has a voter in a committed configuration and,
-            if this replica is the leader, whether all members hold every committed
-            entry. Only then is it safe to lose another disk.
+        is_fully_replicated: Whether every wanted VM has a voter in a committed
+            configuration and, if this replica is the leader, whether all members hold
+            every committed entry. Only then is it safe to lose another disk.
     """
 
     role: Role
     term: int
     leader: ReplicaId | None
-    commit: int
+    commit_index: int
     last_index: int
     snapshot_index: int
     configuration: Configuration
-    live: tuple[ReplicaId, ...]
+    live_members: tuple[ReplicaId, ...]
     has_lease: bool
-    is_whole: bool
+    is_fully_replicated: bool
 
     @property
     def voting_vms(self) -> frozenset[VmId]:
         """VMs whose voters replied recently, if this replica is the leader."""
         voters = self.configuration.voters
-        return frozenset(replica.vm for replica in self.live if replica in voters)
+        return frozenset(
+            replica.vm for replica in self.live_members if replica in voters
+        )
 
     @property
     def joining_vms(self) -> frozenset[VmId]:
         """VMs with a recent reply but without a vote, if this replica is the leader."""
-        return frozenset(replica.vm for replica in self.live) - self.voting_vms
+        return frozenset(replica.vm for replica in self.live_members) - self.voting_vms
--- a/libs/agreement/src/kumquatmux_agreement/seats.py
+++ b/libs/agreement/src/kumquatmux_agreement/voter_selection.py
@@ -7,7 +7,7 @@
 from kumquatmux_core.identity import VmId, ZoneName
 
 
-class Candidate(NamedTuple):
+class VoterCandidate(NamedTuple):
     """Control VM that can become a voter.
 
     Attributes:
@@ -19,7 +19,7 @@
     zone: ZoneName
 
 
-class SeatsView(NamedTuple):
+class VoterSelectionView(NamedTuple):
     """What the leader knows about the control VMs.
 
     Attributes:
@@ -32,17 +32,17 @@
 
     leader: VmId
     voter_vms: tuple[VmId, ...]
-    reachable: tuple[Candidate, ...]
+    reachable: tuple[VoterCandidate, ...]
     unreachable: frozenset[VmId]
     voter_count: int
 
 
-def voters_for(tolerated_losses: int) -> int:
+def required_voter_count(tolerated_losses: int) -> int:
     """Return the number of voters needed to survive a number of lost voters."""
     return 2 * tolerated_losses + 1
 
 
-def next_wanted(view: SeatsView) -> tuple[VmId, ...] | None:
+def next_voter_vms(view: VoterSelectionView) -> tuple[VmId, ...] | None:
     """Return the VMs to select as voters next, or None to keep the selection.
 
     A VM is replaced only if it is unreachable and a reachable VM can take its place,
@@ -63,7 +63,7 @@
 
 
 def _add_voter_vms(
-    view: SeatsView, spare_candidates: list[Candidate]
+    view: VoterSelectionView, spare_candidates: list[VoterCandidate]
 ) -> tuple[VmId, ...] | None:
     missing_count = view.voter_count - len(view.voter_vms)
     if len(spare_candidates) < missing_count:
@@ -79,7 +79,9 @@
 
 
 def _select_candidate_vm(
-    view: SeatsView, spare_candidates: list[Candidate], voter_vms: set[VmId]
+    view: VoterSelectionView,
+    spare_candidates: list[VoterCandidate],
+    voter_vms: set[VmId],
 ) -> VmId:
     """Return the VM of the candidate whose zone has the fewest selected VMs."""
     zones = {candidate.vm: candidate.zone for candidate in view.reachable}
--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -1,4 +1,4 @@
-"""Structured lines on a stream: bounded, limited by kind and never blocking."""
+"""Non-blocking writer of JSON log lines, with a bounded buffer and rate limits."""
 
 from __future__ import annotations
 
@@ -10,92 +10,101 @@
 
 
 class LineSettings(NamedTuple):
-    """How much is written.
+    """Output file descriptor and limits of a line writer.
 
     Attributes:
-        file: Descriptor that is written to.
-        waiting_lines: Lines kept while the stream takes none.
-        lines_per_s: Lines of one kind a second; more are counted instead.
+        file_descriptor: File descriptor to write to.
+        max_buffered_lines: Maximum number of buffered lines.
+        max_lines_per_s: Maximum number of lines per second for one event name. Further
+            lines are dropped and counted.
     """
 
-    file: int = 1
-    waiting_lines: int = 4096
-    lines_per_s: int = 200
+    file_descriptor: int = 1
+    max_buffered_lines: int = 4096
+    max_lines_per_s: int = 200
 
 
 class LineWriter:
-    """Collects lines and writes them in batches.
+    """Buffers JSON log lines and writes them to a file descriptor in batches.
 
     Attributes:
-        vm: Name of this VM, on each line.
-        dropped: Lines not written, by kind.
-        written: Lines written so far.
+        settings: Output file descriptor and limits.
+        vm: Name of this VM, included in each line.
+        buffered: Encoded lines in the buffer.
+        unwritten: Bytes of earlier batches that the stream has not yet accepted.
+        dropped: Number of dropped lines by event name. Stream errors are counted
+            here as ``blocking-stream``, ``stream-failed`` and ``stream-slow``.
+        reported: Values of ``dropped`` when they were last reported.
+        written_lines: Number of lines removed from the buffer for writing.
+        lines_this_second: Number of lines added in the current second, by event name.
+        current_second: Current whole second of the monotonic clock.
+        now: Time of the last tick, in monotonic seconds.
     """
 
     def __init__(self, settings: LineSettings, vm: str) -> None:
         self.settings = settings
         self.vm = vm
-        self.waiting: deque[bytes] = deque()
-        self.rest = b""
+        self.buffered: deque[bytes] = deque()
+        self.unwritten = b""
         self.dropped: Counter[str] = Counter()
-        self.told: Counter[str] = Counter()
-        self.written = 0
-        self.in_second: Counter[str] = Counter()
-        self.second = -1
+        self.reported: Counter[str] = Counter()
+        self.written_lines = 0
+        self.lines_this_second: Counter[str] = Counter()
+        self.current_second = -1
         self.now = 0.0
         try:
-            os.set_blocking(settings.file, False)
+            os.set_blocking(settings.file_descriptor, False)
         except OSError:
             self.dropped["blocking-stream"] += 1
 
     def tick(self, now: float) -> None:
-        """Take the time, in steady seconds, and write what waits."""
+        """Set the current time, in monotonic seconds, and write buffered lines."""
         self.now = now
-        if int(now) != self.second:
-            self.second = int(now)
-            self.in_second.clear()
-            self._tell_dropped()
+        if int(now) != self.current_second:
+            self.current_second = int(now)
+            self.lines_this_second.clear()
+            self._report_dropped()
         self.flush()
 
     def put(self, event: str, fields: dict[str, Any]) -> None:
-        """Add a line, or count it where there are too many."""
-        is_full = len(self.waiting) >= self.settings.waiting_lines
-        if is_full or self.in_second[event] >= self.settings.lines_per_s:
+        """Buffer a line, or drop and count it if a limit is reached."""
+        is_full = len(self.buffered) >= self.settings.max_buffered_lines
+        if is_full or self.lines_this_second[event] >= self.settings.max_lines_per_s:
             self.dropped[event] += 1
             return
-        self.in_second[event] += 1
+        self.lines_this_second[event] += 1
         line = {"t": round(self.now, 3), "event": event, "vm": self.vm}
-        line.update((key, _plain(value)) for key, value in fields.items())
-        self.waiting.append(msgspec.json.encode(line) + b"\n")
+        line.update((key, _json_value(value)) for key, value in fields.items())
+        self.buffered.append(msgspec.json.encode(line) + b"\n")
 
     def flush(self) -> None:
-        """Write as much as the stream takes now."""
-        if not self.waiting and not self.rest:
+        """Write as many buffered bytes as the stream accepts without blocking."""
+        if not self.buffered and not self.unwritten:
             return
-        batch = self.rest + b"".join(self.waiting)
-        self.written += len(self.waiting)
-        self.waiting.clear()
+        batch = self.unwritten + b"".join(self.buffered)
+        self.written_lines += len(self.buffered)
+        self.buffered.clear()
         try:
-            count = os.write(self.settings.file, batch)
+            written_bytes = os.write(self.settings.file_descriptor, batch)
         except BlockingIOError:
-            count = 0
+            written_bytes = 0
         except OSError:
             self.dropped["stream-failed"] += 1
-            count = len(batch)
-        self.rest = batch[count:]
-        limit = self.settings.waiting_lines * 256
-        if len(self.rest) > limit:
-            self.dropped["stream-slow"] += self.rest.count(b"\n")
-            self.rest = b""
+            written_bytes = len(batch)
+        self.unwritten = batch[written_bytes:]
+        max_unwritten_bytes = self.settings.max_buffered_lines * 256
+        if len(self.unwritten) > max_unwritten_bytes:
+            self.dropped["stream-slow"] += self.unwritten.count(b"\n")
+            self.unwritten = b""
 
-    def _tell_dropped(self) -> None:
-        news = self.dropped - self.told
-        if news:
-            self.told = self.dropped.copy()
-            self.put("lines-dropped", {"counts": dict(news)})
+    def _report_dropped(self) -> None:
+        unreported = self.dropped - self.reported
+        if unreported:
+            self.reported = self.dropped.copy()
+            self.put("lines-dropped", {"counts": dict(unreported)})
 
 
-def _plain(value: Any) -> Any:
+def _json_value(value: Any) -> Any:
     if value is None or isinstance(value, int | float | dict):
         return value
     return str(value)
--- a/libs/core/tests/test_codec.py
+++ b/libs/core/tests/test_codec.py
@@ -14,30 +14,34 @@
     text: str = ""
 
 
-class PingLater(NamedTuple):
+class PingWithNewField(NamedTuple):
     number: int
     text: str = ""
     added: int = 0
 
 
-OLD = registry({1: Ping})
-NEW = registry({1: PingLater})
+OLDER_REGISTRY = registry({1: Ping})
+NEWER_REGISTRY = registry({1: PingWithNewField})
 
 
-def test_a_message_survives_the_trip():
-    assert OLD.decode(OLD.encode(Ping(3, "x"))).ok == Ping(3, "x")
+def test_message_round_trip():
+    assert OLDER_REGISTRY.decode(OLDER_REGISTRY.encode(Ping(3, "x"))).ok == Ping(3, "x")
 
 
-def test_fields_of_a_newer_sender_are_tolerated():
-    assert OLD.decode(NEW.encode(PingLater(3, "x", 9))).ok == Ping(3, "x")
+def test_additional_fields_of_a_newer_sender_are_ignored():
+    assert OLDER_REGISTRY.decode(
+        NEWER_REGISTRY.encode(PingWithNewField(3, "x", 9))
+    ).ok == Ping(3, "x")
 
 
-def test_fields_an_older_sender_lacks_take_their_defaults():
-    assert NEW.decode(OLD.encode(Ping(3, "x"))).ok == PingLater(3, "x", 0)
+def test_fields_missing_from_an_older_sender_get_their_defaults():
+    assert NEWER_REGISTRY.decode(
+        OLDER_REGISTRY.encode(Ping(3, "x"))
+    ).ok == PingWithNewField(3, "x", 0)
 
 
-def test_bad_messages_are_named():
-    cases = {
+def test_invalid_messages_return_their_error_code():
+    expected_codes = {
         b"": "message-short",
         b"\x09\x00\x01\x90": "message-version",
         b"\x01\x00\x63\x90": "message-kind",
@@ -45,17 +49,19 @@
         b"\x01\x00\x01\x90": "message-body",
         b"\x01\x00\x01\x91\xa1x": "message-body",
     }
-    seen = {data: OLD.decode(data).error.code for data in cases}
-    assert seen == cases
+    actual_codes = {
+        data: OLDER_REGISTRY.decode(data).error.code for data in expected_codes
+    }
+    assert actual_codes == expected_codes
 
 
 @given(st.binary(max_size=64))
-def test_no_bytes_crash_the_decoder(data):
-    assert OLD.decode(data).is_ok() or OLD.decode(data).is_error()
+def test_arbitrary_bytes_never_crash_the_decoder(data):
+    assert OLDER_REGISTRY.decode(data).is_ok() or OLDER_REGISTRY.decode(data).is_error()
 
 
-def test_two_types_cannot_share_a_kind():
+def test_duplicate_kinds_and_types_are_rejected():
     with pytest.raises(ValueError, match="share a kind"):
-        registry({1: Ping}, {1: PingLater})
-    with pytest.raises(ValueError, match="one has two"):
+        registry({1: Ping}, {1: PingWithNewField})
+    with pytest.raises(ValueError, match="one type has two kinds"):
         registry({1: Ping}, {2: Ping})
--- a/libs/daemons/src/kumquatmux_daemons/control/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/control/core.py
@@ -86,7 +86,7 @@
     @property
     def vm(self) -> VmId:
         """This VM."""
-        return self.replica.replica.vm
+        return self.replica.replica_id.vm
 
 
 class Writer(Protocol):
@@ -149,7 +149,7 @@
 
     def can_accept(self, now: float) -> bool:
         """Return whether the log is known to take changes at this time."""
-        is_ready = self.replica.status().configuration.is_ready
+        is_ready = self.replica.status().configuration.has_enough_voters
         is_fresh = self.copy.staleness(now) < CONFIRMED_S
         return is_ready and is_fresh and not self.failure and not self._is_behind()
 
@@ -195,7 +195,7 @@
 
     @_on.register
     def _(self, event: FromReplica, now: float) -> None:
-        self._drive(agreement.Received(event.message), now)
+        self._drive(agreement.MessageReceived(event.message), now)
 
     @_on.register
     def _(self, event: FromCopy, now: float) -> None:
@@ -267,16 +267,16 @@
     @_carry_out.register
     def _(self, action: agreement.Reply, now: float) -> list[agreement.Action]:
         if action.token.startswith("confirm "):
-            if action.outcome == agreement.Outcome.CURRENT:
+            if action.outcome == agreement.RequestOutcome.CURRENT:
                 self._act_on_copy(self.copy.handle(copy_events.Confirmed(), now))
                 self._look_for_loss()
             return []
         vms = self.reshaping.pop(action.token, None)
-        if action.outcome == agreement.Outcome.REFUSED:
+        if action.outcome == agreement.RequestOutcome.REFUSED:
             self.out.append(Tell(action.token, self._refusal(action)))
-        elif action.outcome == agreement.Outcome.COMMITTED and vms is not None:
+        elif action.outcome == agreement.RequestOutcome.COMMITTED and vms is not None:
             self.out.append(Tell(action.token, Reshaped(vms)))
-        elif action.outcome == agreement.Outcome.COMMITTED:
+        elif action.outcome == agreement.RequestOutcome.COMMITTED:
             self._settle(action.token, action.log_index)
         else:
             detail = action.problem.detail if action.problem else "the outcome is open"
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -11,7 +11,6 @@
     Action,
     Apply,
     Event,
-    HandOver,
     InstallSnapshot,
     Persist,
     Persisted,
@@ -23,6 +22,7 @@
     SnapshotTaken,
     TakeSnapshot,
     Tick,
+    TransferLeadership,
 )
 from kumquatmux_agreement.messages import Message
 from kumquatmux_agreement.replica import Replica
@@ -66,7 +66,7 @@
     @property
     def is_leader(self) -> bool:
         """Whether this replica leads."""
-        return self.replica.core.leadership is not None
+        return self.replica.core.leader_state is not None
 
     @property
     def leader_vm(self) -> VmId | None:
@@ -86,16 +86,19 @@
 
     def hand_over(self, now: float) -> None:
         """Ask another replica to lead, if this one does."""
-        self.give(HandOver(), now)
+        self.give(TransferLeadership(), now)
 
     def is_current(self) -> bool:
         """Return whether a leader of now has confirmed what is applied here."""
         core = self.replica.core
-        if core.log.term_at(core.commit) != core.term:
+        if core.log.term_at(core.commit_index) != core.term:
             return False
-        if core.leadership is not None:
-            return core.commit >= core.leadership.first_index
-        is_fresh = core.clock - core.heard_at < core.settings.election_timeout_s
+        if core.leader_state is not None:
+            return core.commit_index >= core.leader_state.term_start_index
+        is_fresh = (
+            core.steady_now - core.last_leader_contact_at
+            < core.settings.election_timeout_s
+        )
         return core.leader is not None and is_fresh
 
     def set_peers(self, vms: tuple[VmId, ...]) -> None:
@@ -163,7 +166,7 @@
         self._restore(restored.snapshot)
         log_decision(
             "replica-started",
-            replica=self.settings.replica,
+            replica=self.settings.replica_id,
             term=restored.vote.term,
             snapshot=restored.snapshot.log_index,
             entries=len(restored.entries),
@@ -184,5 +187,5 @@
             return
         self.store = opened.ok
         replica = ReplicaId(identity.vm, self.store.identity.folder)
-        self.settings = self.settings._replace(replica=replica)
+        self.settings = self.settings._replace(replica_id=replica)
         self.replica = self._new_replica()
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -5,10 +5,21 @@
 from functools import singledispatchmethod
 from typing import Any, NamedTuple
 
-from kumquatmux_agreement.events import ChangeMembership, Propose, Read, Received, Reply
-from kumquatmux_agreement.events import Outcome as ReplicaOutcome
+from kumquatmux_agreement.events import (
+    ChangeMembership,
+    MessageReceived,
+    Propose,
+    Read,
+    Reply,
+)
+from kumquatmux_agreement.events import RequestOutcome as ReplicaOutcome
 from kumquatmux_agreement.messages import Message as ReplicaMessage
-from kumquatmux_agreement.seats import Candidate, SeatsView, next_wanted, voters_for
+from kumquatmux_agreement.voter_selection import (
+    VoterCandidate,
+    VoterSelectionView,
+    next_voter_vms,
+    required_voter_count,
+)
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import Endpoint, VmId, ZoneName
 from kumquatmux_core.problems import Problem
@@ -122,7 +133,7 @@
     def message(self, sender: VmId, message: Any, now: float) -> list[Sent | Answered]:
         """Take a message of another VM."""
         if isinstance(message, ReplicaMessage):
-            self.agreed.give(Received(message), now)
+            self.agreed.give(MessageReceived(message), now)
         else:
             self._take(message, now)
         return self._effects(now)
@@ -306,7 +317,7 @@
 
     def _is_seated(self) -> bool:
         configuration = self.agreed.replica.core.log.configuration
-        return len(configuration.voters) >= voters_for(self.settings.losses)
+        return len(configuration.voters) >= required_voter_count(self.settings.losses)
 
     def _look_at_seats(self, now: float) -> None:
         if not self.agreed.is_leader:
@@ -314,18 +325,18 @@
             return
         if self.leads_since is None:
             self.leads_since = now
-        wanted = self.agreed.replica.core.log.configuration.vms
-        following = next_wanted(self._seats_view(wanted, now))
+        wanted = self.agreed.replica.core.log.configuration.wanted_vms
+        following = next_voter_vms(self._seats_view(wanted, now))
         if following is None:
             return
         log_decision("seats-moved", wanted=",".join(following), former=",".join(wanted))
         self.agreed.give(ChangeMembership(following, f"seats-{now}"), now)
 
-    def _seats_view(self, wanted: tuple[VmId, ...], now: float) -> SeatsView:
+    def _seats_view(self, wanted: tuple[VmId, ...], now: float) -> VoterSelectionView:
         limit = now - self.follower.settings.silent_s
-        mine = Candidate(self.settings.vm, self.settings.zone)
+        mine = VoterCandidate(self.settings.vm, self.settings.zone)
         others = [
-            Candidate(vm, source.zone)
+            VoterCandidate(vm, source.zone)
             for vm, source in self.follower.sources.items()
             if source.heard_at > limit
         ]
@@ -341,8 +352,8 @@
             )
             < now - GONE_S
         )
-        size = voters_for(self.settings.losses)
-        return SeatsView(self.settings.vm, wanted, (mine, *others), gone, size)
+        size = required_voter_count(self.settings.losses)
+        return VoterSelectionView(self.settings.vm, wanted, (mine, *others), gone, size)
 
     def _is_due(self, name: str, period_s: float, now: float) -> bool:
         if now < self.due.get(name, 0.0):
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -114,13 +114,13 @@
     async def handle(call: HttpCall) -> HttpAnswer:
         counts = core.counts + ports.peers.counts + ports.packets.counts
         gauges = {
-            "document": float(core.router.routes.number),
+            "document": float(core.router.route_table.document_number),
             "servers": float(len(core.router.directory.by_token)),
-            "flows": float(len(core.router.load.flows)),
-            "held": float(core.router.held.count),
+            "flows": float(len(core.router.load_tracker.flows)),
+            "held": float(core.router.token_buffer.count),
             "lines_dropped": float(sum(lines.dropped.values())),
         }
-        text = metrics_text.render(counts, gauges, core.router.load.latencies)
+        text = metrics_text.render(counts, gauges, core.router.load_tracker.latencies)
         return HttpAnswer(200, text, "text/plain")
 
     return handle
--- a/libs/lab/src/kumquatmux_lab/benches/tokens.py
+++ b/libs/lab/src/kumquatmux_lab/benches/tokens.py
@@ -15,10 +15,10 @@
 from kumquatmux_core.identity import Address, Endpoint, ServiceName, VmId, ZoneName
 from kumquatmux_registry.feed import MESSAGE_TYPES, FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.packets import Forward, Head
+from kumquatmux_tokens.packets import Forward, PacketHeader
 from kumquatmux_tokens.router import TokenRouter
-from kumquatmux_tokens.routes import Route, RouteSet, Share
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
 SERVICE = ServiceName("entries")
@@ -77,28 +77,30 @@
     decisions.configure(as_json=False, enabled=False)
     random = Random(seed)
     router = TokenRouter(
-        TokenSettings(VmId("e1"), ZoneName("a"), queue_depth=1 << 30), random, 0.0
+        TokenRouterSettings(VmId("e1"), ZoneName("a"), server_queue_limit=1 << 30),
+        random,
+        0.0,
     )
-    route = Route("r", ROUTE, (Share(SERVICE, 1),))
-    router.install(RouteSet(1, (route,), frozenset({SERVICE}), 15.0), 0.0)
+    route = Route("r", ROUTE, (WeightedService(SERVICE, 1),))
+    router.install_routes(RouteSet(1, (route,), frozenset({SERVICE}), 15.0), 0.0)
     for number in range(servers):
-        router.learn(record(number), 0.0)
+        router.store_record(record(number), 0.0)
     tokens = list(router.directory.by_token)
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     for number in range(open_flows):
-        router.handle(_data(number, tokens, 101, 9), 1.0)
+        router.route_packet(_data(number, tokens, 101, 9), 1.0)
     grown = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
     numbers = [random.randrange(open_flows) for _ in range(PACKETS)]
     heads = [_data(number, tokens, 101, 0) for number in numbers]
     began = time.process_time()
     for head in heads:
-        decision = router.handle(head, 1.1)
+        decision = router.route_packet(head, 1.1)
         assert isinstance(decision, Forward)
     packets_s = time.process_time() - began
     openings = [_opening(open_flows + number) for number in range(NEW_FLOWS)]
     began = time.process_time()
     for head in openings:
-        router.handle(head, 1.2)
+        router.route_packet(head, 1.2)
     new_flows_s = time.process_time() - began
     answer, with_record = _answer(()), _answer((record(1),))
     return TokenCosts(
@@ -112,14 +114,14 @@
     )
 
 
-def _data(number: int, tokens: list[int], sequence: int, length: int) -> Head:
+def _data(number: int, tokens: list[int], sequence: int, length: int) -> PacketHeader:
     token = tokens[number % len(tokens)]
     flow = flow_name(number)
-    return Head(flow, ROUTE, token, False, False, 0, sequence, 500, length)
+    return PacketHeader(flow, ROUTE, token, False, False, 0, sequence, 500, length)
 
 
-def _opening(number: int) -> Head:
-    return Head(flow_name(number), ROUTE, 0, True, False, 0, 100, 0, 0)
+def _opening(number: int) -> PacketHeader:
+    return PacketHeader(flow_name(number), ROUTE, 0, True, False, 0, 100, 0, 0)
 
 
 def _answer(records: tuple[ServerRecord, ...]) -> bytes:
--- a/libs/lab/tests/test_registrar_faults.py
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -110,7 +110,7 @@
     world.start(leader)
     world.run_until(world.now + 4.0)
     status = world.nodes[leader_of(world)].core.agreed.replica.status()
-    assert status.is_whole
+    assert status.is_fully_replicated
 
 
 def test_a_vm_at_another_address_takes_the_seat_of_one_that_is_gone(world):
@@ -120,8 +120,8 @@
     world.add(Control(VmId("c-new"), ZoneName(victim[-1])))
     world.run_until(world.now + 4.0)
     status = world.nodes[leader_of(world)].core.agreed.replica.status()
-    assert status.is_whole
-    assert "c-new" in status.configuration.vms
+    assert status.is_fully_replicated
+    assert "c-new" in status.configuration.wanted_vms
 
 
 def test_documents_and_servers_are_back_soon_after_all_lost_power(world):
@@ -164,7 +164,7 @@
 
 
 def test_without_refutation_a_server_stays_late_after_a_long_cut(world, monkeypatch):
-    monkeypatch.setattr(Leases, "_refutes", lambda *_: False)
+    monkeypatch.setattr(Leases, "_can_refute", lambda *_: False)
     assert late_after_a_long_cut(world) == ["e-a", "e-b", "e-c"]
 
 
--- a/libs/placement/src/kumquatmux_placement/peak.py
+++ b/libs/placement/src/kumquatmux_placement/peak.py
@@ -1,34 +1,34 @@
-"""The highest of a count in the recent past."""
+"""Maximum of a count over a recent time window."""
 
 from __future__ import annotations
 
 
 class RecentPeak:
-    """Highest value noted in the last one to two spans of time.
+    """Maximum of a count over the last one to two time windows.
 
     Attributes:
-        span_s: Length of a span, in seconds.
-        current: Highest value of the span that runs now.
-        previous: Highest value of the span before.
-        began: When the span that runs now began, in seconds.
+        window_s: Length of a time window, in seconds.
+        current_peak: Maximum in the current window.
+        previous_peak: Maximum in the previous window.
+        window_start: Start of the current window, in seconds.
     """
 
-    def __init__(self, span_s: float) -> None:
-        self.span_s = span_s
-        self.current = 0
-        self.previous = 0
-        self.began = float("-inf")
+    def __init__(self, window_s: float) -> None:
+        self.window_s = window_s
+        self.current_peak = 0
+        self.previous_peak = 0
+        self.window_start = float("-inf")
 
-    def note(self, value: int, now: float) -> None:
-        """Take in the value the count has now."""
-        if now - self.began >= self.span_s:
-            gap = now - self.began >= 2 * self.span_s
-            self.previous = 0 if gap else self.current
-            self.current = 0
-            self.began = now
-        self.current = max(self.current, value)
+    def record(self, value: int, now: float) -> None:
+        """Record the current value of the count."""
+        if now - self.window_start >= self.window_s:
+            skipped_window = now - self.window_start >= 2 * self.window_s
+            self.previous_peak = 0 if skipped_window else self.current_peak
+            self.current_peak = 0
+            self.window_start = now
+        self.current_peak = max(self.current_peak, value)
 
-    def value(self, now: float) -> int:
-        """Return the highest value of the recent past."""
-        self.note(0, now)
-        return max(self.current, self.previous)
+    def peak(self, now: float) -> int:
+        """Return the maximum over the current and the previous window."""
+        self.record(0, now)
+        return max(self.current_peak, self.previous_peak)
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -1,4 +1,4 @@
-"""The records of all backend servers, merged from any source in any order."""
+"""Table of all backend server records, merged from any source in any order."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 from kumquatmux_registry.records import Phase, ServerRecord
 
 
-class Held(NamedTuple):
-    """A record and when it came.
+class TableEntry(NamedTuple):
+    """Table entry: a record and its latest change.
 
     Attributes:
-        record: The record.
-        position: Number of the change of this table that brought it.
-        changed_at: When, in seconds of the holder's steady clock.
+        record: Newest record of the server name.
+        position: Sequence number of the table change that stored the record.
+        changed_at: Time of that change, in seconds of this VM's monotonic clock.
     """
 
     record: ServerRecord
@@ -24,59 +24,60 @@
 
 
 class ServerTable:
-    """Records by server name; merging is idempotent and free of order.
+    """Server records by server name; merging is idempotent and commutative.
 
     Attributes:
-        held: The newest record of each server name.
-        position: Number of changes so far.
+        held: Entry with the newest record of each server name.
+        name_by_endpoint: Name of the server that last claimed each endpoint.
+        position: Sequence number of the latest change.
     """
 
     def __init__(self) -> None:
-        self.held: dict[str, Held] = {}
-        self.by_endpoint: dict[Endpoint, str] = {}
+        self.held: dict[str, TableEntry] = {}
+        self.name_by_endpoint: dict[Endpoint, str] = {}
         self.position = 0
 
     def get(self, name: str) -> ServerRecord | None:
-        """Return the record of a server name."""
-        held = self.held.get(name)
-        return held.record if held else None
+        """Return the record of a server name, or None if there is none."""
+        entry = self.held.get(name)
+        return entry.record if entry else None
 
     def merge(self, record: ServerRecord, now: float) -> list[ServerRecord]:
-        """Take a record if it is newer; return the records that changed.
+        """Store a record if it is newer; return the records that changed.
 
-        A newer lifetime at an address ends the older one that had the address.
+        If two servers claim one endpoint, the one that started earlier is ended.
         """
         name = record.report.lifetime.name
-        known = self.get(name)
-        if known is not None and record.rank <= known.rank:
+        existing = self.get(name)
+        if existing is not None and record.sort_key <= existing.sort_key:
             return []
-        changed = [self._put(record, now)]
+        changed = [self._store(record, now)]
         if record.report.phase != Phase.ENDED:
-            changed += self._take_address(record, now)
+            changed += self._claim_endpoint(record, now)
         return changed
 
-    def renew(self, name: str, now: float) -> None:
-        """Tell of a server again, with any doubt about it refuted."""
+    def republish(self, name: str, now: float) -> None:
+        """Store a record again as a new change, refuting any suspicion."""
         record = self.held[name].record
-        self._put(record.doubted() if record.is_late else record, now)
+        self._store(record.with_suspicion_toggled() if record.is_late else record, now)
 
-    def after(self, position: int, limit: int) -> list[Held]:
-        """Return the oldest changes after a position, up to a limit."""
+    def entries_after(self, position: int, limit: int) -> list[TableEntry]:
+        """Return the entries changed after a position, oldest first, up to a limit."""
         newer = [held for held in self.held.values() if held.position > position]
-        newer.sort(key=lambda held: held.position)
+        newer.sort(key=lambda entry: entry.position)
         return newer[:limit]
 
-    def forget(self, before: float) -> None:
-        """Drop ended servers whose end was noted before a time."""
-        for name, held in list(self.held.items()):
-            is_ended = held.record.report.phase == Phase.ENDED
-            if is_ended and held.changed_at < before:
+    def remove_ended(self, before: float) -> None:
+        """Remove ended servers whose record last changed before a time."""
+        for name, entry in list(self.held.items()):
+            is_ended = entry.record.report.phase == Phase.ENDED
+            if is_ended and entry.changed_at < before:
                 del self.held[name]
 
-    def _put(self, record: ServerRecord, now: float) -> ServerRecord:
+    def _store(self, record: ServerRecord, now: float) -> ServerRecord:
         report = record.report
         self.position += 1
-        self.held[report.lifetime.name] = Held(record, self.position, now)
+        self.held[report.lifetime.name] = TableEntry(record, self.position, now)
         log_decision(
             "server-known",
             server=report.lifetime,
@@ -89,21 +90,25 @@
         )
         return record
 
-    def _take_address(self, record: ServerRecord, now: float) -> list[ServerRecord]:
+    def _claim_endpoint(self, record: ServerRecord, now: float) -> list[ServerRecord]:
         endpoint = record.report.endpoint
         lifetime = record.report.lifetime
-        former = self.by_endpoint.get(endpoint)
-        rival = self.get(former) if former not in (None, lifetime.name) else None
-        if rival is None or rival.report.phase == Phase.ENDED:
-            self.by_endpoint[endpoint] = lifetime.name
+        previous_name = self.name_by_endpoint.get(endpoint)
+        other_record = (
+            self.get(previous_name)
+            if previous_name not in (None, lifetime.name)
+            else None
+        )
+        if other_record is None or other_record.report.phase == Phase.ENDED:
+            self.name_by_endpoint[endpoint] = lifetime.name
             return []
-        if rival.report.lifetime.born_ms > lifetime.born_ms:
-            return [self._put(ended(record), now)]
-        self.by_endpoint[endpoint] = lifetime.name
-        return [self._put(ended(rival), now)]
+        if other_record.report.lifetime.born_ms > lifetime.born_ms:
+            return [self._store(mark_ended(record), now)]
+        self.name_by_endpoint[endpoint] = lifetime.name
+        return [self._store(mark_ended(other_record), now)]
 
 
-def ended(record: ServerRecord) -> ServerRecord:
-    """Return a record that says that its lifetime is over."""
+def mark_ended(record: ServerRecord) -> ServerRecord:
+    """Return a copy of a record with its lifetime marked as ended."""
     report = record.report._replace(phase=Phase.ENDED)
     return record._replace(report=report, doubts=0)
--- a/libs/registry/tests/test_saved.py
+++ b/libs/registry/tests/test_saved.py
@@ -7,12 +7,12 @@
 
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_registry.saved import NAME, SavedServers, decode, encode
+from kumquatmux_registry.saved import FILE_NAME, SavedServers, decode, encode
 from kumquatmux_storage.memory import MemoryDisk
 
-PLACE = Endpoint("10.0.0.9", 1)
+ENDPOINT = Endpoint("10.0.0.9", 1)
 RECORD = ServerRecord(
-    Report(Lifetime("i-1", 1), 1, "entries", PLACE, "a", "v1", 2, Phase.READY, 0.0),
+    Report(Lifetime("i-1", 1), 1, "entries", ENDPOINT, "a", "v1", 2, Phase.READY, 0.0),
     "c1",
     3,
 )
@@ -30,7 +30,7 @@
     assert SavedServers(MemoryDisk()).load() == []
 
 
-def test_a_full_disk_is_survived():
+def test_full_disk_keeps_the_previous_file():
     disk = MemoryDisk()
     saved = SavedServers(disk)
     saved.save([RECORD])
@@ -39,9 +39,9 @@
     assert saved.load() == [RECORD]
 
 
-def test_a_damaged_file_is_left_out():
+def test_damaged_file_is_ignored():
     disk = MemoryDisk()
-    disk.replace(NAME, encode([RECORD])[:-1])
+    disk.replace(FILE_NAME, encode([RECORD])[:-1])
     assert SavedServers(disk).load() == []
 
 
--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -8,73 +8,77 @@
 from kumquatmux_registry.table import ServerTable
 
 
-def report(name="i-1", born=1, number=1, service="entries", port=1, phase=Phase.READY):
+def make_report(
+    name="i-1", born=1, number=1, service="entries", port=1, phase=Phase.READY
+):
     place = Endpoint("10.0.0.9", port)
     lifetime = Lifetime(name, born)
     return Report(lifetime, number, service, place, "a", "v1", 2, phase, 0.0)
 
 
-def record(holder="c1", doubts=0, **options):
-    return ServerRecord(report(**options), holder, doubts)
+def make_record(holder="c1", doubts=0, **options):
+    return ServerRecord(make_report(**options), holder, doubts)
 
 
-def phases(table):
+def phases_by_name(table):
     return {name: held.record.report.phase for name, held in table.held.items()}
 
 
 def test_an_older_record_changes_nothing():
     table = ServerTable()
-    table.merge(record(number=5, phase=Phase.DRAINING), 0.0)
-    assert table.merge(record(number=4), 1.0) == []
-    assert phases(table) == {"i-1": Phase.DRAINING}
+    table.merge(make_record(number=5, phase=Phase.DRAINING), 0.0)
+    assert table.merge(make_record(number=4), 1.0) == []
+    assert phases_by_name(table) == {"i-1": Phase.DRAINING}
 
 
-def test_a_later_start_replaces_an_earlier_one_whatever_their_numbers():
+def test_later_lifetime_replaces_an_earlier_one_regardless_of_report_number():
     table = ServerTable()
-    table.merge(record(born=10, number=90), 0.0)
-    assert table.merge(record(born=11, number=1), 1.0)
+    table.merge(make_record(born=10, number=90), 0.0)
+    assert table.merge(make_record(born=11, number=1), 1.0)
     assert table.get("i-1").report.lifetime.born_ms == 11
 
 
-def test_a_late_report_of_an_ended_start_does_not_bring_it_back():
+def test_late_report_of_an_earlier_lifetime_is_ignored():
     table = ServerTable()
-    table.merge(record(born=11, number=1), 0.0)
-    assert table.merge(record(born=10, number=99), 1.0) == []
+    table.merge(make_record(born=11, number=1), 0.0)
+    assert table.merge(make_record(born=10, number=99), 1.0) == []
 
 
-def test_a_newer_server_at_an_address_ends_the_one_before():
+def test_newer_server_at_an_endpoint_ends_the_previous_one():
     table = ServerTable()
-    table.merge(record(name="i-1", born=10, port=7), 0.0)
-    table.merge(record(name="i-2", born=20, port=7, service="pagesetter"), 1.0)
-    assert phases(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
+    table.merge(make_record(name="i-1", born=10, port=7), 0.0)
+    table.merge(make_record(name="i-2", born=20, port=7, service="pagesetter"), 1.0)
+    assert phases_by_name(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
 
 
-def test_a_delayed_report_for_an_address_that_was_taken_over_names_no_server():
+def test_delayed_report_for_a_reused_endpoint_is_stored_as_ended():
     table = ServerTable()
-    table.merge(record(name="i-2", born=20, port=7), 0.0)
-    table.merge(record(name="i-1", born=10, port=7), 1.0)
-    assert phases(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
+    table.merge(make_record(name="i-2", born=20, port=7), 0.0)
+    table.merge(make_record(name="i-1", born=10, port=7), 1.0)
+    assert phases_by_name(table) == {"i-1": Phase.ENDED, "i-2": Phase.READY}
 
 
 def test_changes_after_a_position_come_in_order_and_in_pages():
     table = ServerTable()
     for number in range(5):
-        table.merge(record(name=f"i-{number}", port=number), 0.0)
-    page = table.after(1, 2)
+        table.merge(make_record(name=f"i-{number}", port=number), 0.0)
+    page = table.entries_after(1, 2)
     assert [held.record.report.lifetime.name for held in page] == ["i-1", "i-2"]
-    assert table.after(page[-1].position, 9)[0].position == page[-1].position + 1
+    assert (
+        table.entries_after(page[-1].position, 9)[0].position == page[-1].position + 1
+    )
 
 
 def test_ended_servers_are_forgotten_and_others_are_not():
     table = ServerTable()
-    table.merge(record(name="i-1", port=1, phase=Phase.ENDED), 0.0)
-    table.merge(record(name="i-2", port=2), 0.0)
-    table.forget(before=1.0)
+    table.merge(make_record(name="i-1", port=1, phase=Phase.ENDED), 0.0)
+    table.merge(make_record(name="i-2", port=2), 0.0)
+    table.remove_ended(before=1.0)
     assert list(table.held) == ["i-2"]
 
 
 RECORDS = st.builds(
-    record,
+    make_record,
     holder=st.sampled_from(["c1", "c2"]),
     doubts=st.integers(0, 3),
     name=st.sampled_from(["i-1", "i-2"]),
--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -154,9 +154,9 @@
         return 4
     if entry.record.is_late:
         return 3
-    if entry.record.report.zone in load_tracker.silent_zones:
+    if entry.record.report.zone in load_tracker.unreachable_zones:
         return LAST_RESORT_LEVEL
-    peer_load = load_tracker.zone.totals.get(token)
+    peer_load = load_tracker.peer_load.totals.get(token)
     is_avoided = own_load is not None and own_load.avoided_until > flow.now
     if is_avoided or (peer_load is not None and peer_load.avoiding_vms > 0):
         return LAST_RESORT_LEVEL
@@ -175,7 +175,7 @@
     own_load = load_tracker.local_loads.get(token)
     active_requests = own_load.active_requests if own_load else 0
     open_flows = own_load.open_flows if own_load else 0
-    peer_load = load_tracker.zone.totals.get(token)
+    peer_load = load_tracker.peer_load.totals.get(token)
     if peer_load is not None:
         active_requests += peer_load.active_requests
         open_flows += peer_load.open_flows
@@ -190,7 +190,7 @@
         cost = (cost + 1 / slots) * settings.warm_up_cost_factor
     if report.zone != settings.zone:
         cost += settings.remote_zone_cost
-    is_full = active_requests >= slots + settings.queue_depth
+    is_full = active_requests >= slots + settings.server_queue_limit
     return Candidate(
         entry, _priority_level(entry, flow, load_tracker), is_full, cost, tie_breaker
     )
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -12,8 +12,8 @@
 
 from kumquatmux_core.identity import ZoneName
 from kumquatmux_core.latencies import Latencies
-from kumquatmux_tokens.packets import Head
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import PeerLoad, ServerLoad
 
 SEQUENCE_SPACE = 1 << 32
@@ -100,23 +100,23 @@
     Attributes:
         flows: Flows by flow key.
         local_loads: Load that flows through this VM cause, by token.
-        zone: Load that other VMs of the zone report.
+        peer_load: Load that other VMs of the zone report.
         forwarded_syns: Times and flow keys of forwarded SYN packets, oldest first.
         follow_up_share: Share of a route's requests that follow another one on their
             flow.
-        silent_zones: Other zones that do not answer, so that their servers are probably
-            unreachable.
+        unreachable_zones: Other zones that do not answer, so that their servers are
+            probably unreachable.
         latencies: Histograms of the handshake time and the time to the first answer.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.flows: dict[bytes, Flow] = {}
         self.local_loads: dict[int, LocalLoad] = {}
-        self.zone = PeerLoad(settings)
+        self.peer_load = PeerLoad(settings)
         self.forwarded_syns: deque[tuple[float, bytes]] = deque()
         self.follow_up_share: dict[bytes, float] = {}
-        self.silent_zones: frozenset[ZoneName] = frozenset()
+        self.unreachable_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
 
     def local_load_at(self, token: int) -> LocalLoad:
@@ -133,12 +133,12 @@
             > self.settings.follow_up_share_threshold
         )
 
-    def record_syn(self, header: Head, token: int, now: float) -> Flow:
+    def record_syn(self, header: PacketHeader, token: int, now: float) -> Flow:
         """Record that a flow's SYN packet goes to a server; return the flow."""
-        flow = self.flows.get(header.flow)
+        flow = self.flows.get(header.flow_key)
         if flow is None or flow.is_established:
-            self._remove(header.flow)
-            flow = self.flows[header.flow] = Flow(token, now)
+            self._remove(header.flow_key)
+            flow = self.flows[header.flow_key] = Flow(token, now)
             self.local_load_at(token).open_flows += 1
         elif flow.token != token:
             self._end_request(flow)
@@ -150,7 +150,7 @@
         flow.syn_forwarded_at = now
         flow.last_packet_at = now
         self._start_request(flow, now)
-        self.forwarded_syns.append((now, header.flow))
+        self.forwarded_syns.append((now, header.flow_key))
         return flow
 
     def record_unanswered_syn(self, flow: Flow, now: float) -> bool:
@@ -168,39 +168,39 @@
         load.avoided_until = now + min(backoff_s, self.settings.server_avoidance_max_s)
         return True
 
-    def record_packet(self, header: Head, token: int, now: float) -> None:
+    def record_packet(self, header: PacketHeader, token: int, now: float) -> None:
         """Update the load from a packet that is not a SYN."""
-        flow = self.flows.get(header.flow)
+        flow = self.flows.get(header.flow_key)
         if flow is None:
-            flow = self.flows[header.flow] = Flow(token, now)
-            flow.next_sequence_number = header.sequence
+            flow = self.flows[header.flow_key] = Flow(token, now)
+            flow.next_sequence_number = header.sequence_number
             flow.has_sent_request = True
             self.local_load_at(token).open_flows += 1
         flow.last_packet_at = now
         if not flow.is_established:
             self._establish(flow, token, header, now)
-        if header.is_closing:
-            self._remove(header.flow)
+        if header.is_fin_or_rst:
+            self._remove(header.flow_key)
             return
-        if header.length and _is_sequence_after(
-            header.sequence + header.length, flow.next_sequence_number
+        if header.payload_length and _is_sequence_after(
+            header.sequence_number + header.payload_length, flow.next_sequence_number
         ):
             flow.next_sequence_number = (
-                header.sequence + header.length
+                header.sequence_number + header.payload_length
             ) % SEQUENCE_SPACE
-            flow.baseline_ack_number = header.acknowledged
+            flow.baseline_ack_number = header.ack_number
             flow.last_data_at = now
             flow.retransmissions = 0
             self._update_follow_up_share(flow, header)
             self._start_request(flow, now)
-        elif _is_sequence_after(header.acknowledged, flow.baseline_ack_number):
-            flow.baseline_ack_number = header.acknowledged
+        elif _is_sequence_after(header.ack_number, flow.baseline_ack_number):
+            flow.baseline_ack_number = header.ack_number
             flow.retransmissions = 0
             self.local_load_at(flow.token).last_answer_at = now
             if flow.request_sent_at is not None:
                 self.latencies.record("first-answer", now - flow.request_sent_at)
             self._end_request(flow)
-        elif header.length:
+        elif header.payload_length:
             flow.retransmissions += 1
 
     def is_server_unresponsive(self, flow_key: bytes, now: float) -> bool:
@@ -228,7 +228,7 @@
         """
         if self.local_load_at(token).unanswered_syns:
             return True
-        peer_load = self.zone.totals.get(token)
+        peer_load = self.peer_load.totals.get(token)
         return peer_load is not None and peer_load.avoiding_vms > 0
 
     def remove_flow(self, flow_key: bytes) -> None:
@@ -253,7 +253,7 @@
 
     def remove_expired(self, now: float) -> None:
         """Remove flows, requests and servers that have been idle for too long."""
-        self.zone.remove_expired(now)
+        self.peer_load.remove_expired(now)
         idle_limit = now - self.settings.flow_idle_timeout_s
         request_limit = now - self.settings.request_timeout_s
         for flow_key, flow in list(self.flows.items()):
@@ -280,14 +280,16 @@
             if load.open_flows or load.avoided_until > now
         ]
 
-    def _establish(self, flow: Flow, token: int, header: Head, now: float) -> None:
+    def _establish(
+        self, flow: Flow, token: int, header: PacketHeader, now: float
+    ) -> None:
         """Mark a flow as open at the server that the caller continues with.
 
         This is not always the server that the latest SYN packet was sent to.
         """
         flow.is_established = True
-        flow.baseline_ack_number = header.acknowledged
-        flow.next_sequence_number = header.sequence
+        flow.baseline_ack_number = header.ack_number
+        flow.next_sequence_number = header.sequence_number
         if flow.token != token:
             has_request = flow.request_sent_at is not None
             self._end_request(flow)
@@ -307,13 +309,13 @@
         load.avoided_until = -math.inf
         load.last_answer_at = now
 
-    def _update_follow_up_share(self, flow: Flow, header: Head) -> None:
+    def _update_follow_up_share(self, flow: Flow, header: PacketHeader) -> None:
         """Update a route's share of requests that follow another on their flow."""
         if flow.request_sent_at is not None and flow.has_sent_request:
             return
-        share = self.follow_up_share.get(header.route, 0.0)
+        share = self.follow_up_share.get(header.route_address, 0.0)
         smoothing = self.settings.follow_up_share_smoothing
-        self.follow_up_share[header.route] = share + smoothing * (
+        self.follow_up_share[header.route_address] = share + smoothing * (
             float(flow.has_sent_request) - share
         )
         flow.has_sent_request = True
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.identity import Address, ServiceName
 
 
-class Share(NamedTuple):
+class WeightedService(NamedTuple):
     """A service with its weight on a route.
 
     Attributes:
@@ -27,12 +27,13 @@
     Attributes:
         name: Name of the route.
         address: 6 bytes: the IPv4 address and port that callers send to.
-        shares: Weighted services, at least one of them with a weight above 0.
+        weighted_services: Weighted services, at least one of them with a weight above
+            0.
     """
 
     name: str
     address: Address
-    shares: tuple[Share, ...]
+    weighted_services: tuple[WeightedService, ...]
 
     def select_service(self, flow_key: bytes) -> ServiceName:
         """Return the service of a flow, which is the same for every SYN of the flow.
@@ -40,9 +41,9 @@
         Raises:
             AssertionError: No service has a weight above 0.
         """
-        total_weight = sum(share.weight for share in self.shares)
+        total_weight = sum(share.weight for share in self.weighted_services)
         hash_point = xxhash.xxh3_64_intdigest(flow_key) % total_weight
-        for share in self.shares:
+        for share in self.weighted_services:
             if hash_point < share.weight:
                 return share.service
             hash_point -= share.weight
@@ -53,16 +54,16 @@
     """The part of a configuration document that routing needs.
 
     Attributes:
-        number: Document number, 0 for no document.
+        document_number: Document number, 0 for no document.
         routes: The document's routes.
         services: Names of the document's services.
-        idle_s: Idle time in seconds after which a flow may be dropped.
+        idle_timeout_s: Idle time in seconds after which a flow may be dropped.
     """
 
-    number: int
+    document_number: int
     routes: tuple[Route, ...]
     services: frozenset[ServiceName]
-    idle_s: float
+    idle_timeout_s: float
 
 
 class RouteTable:
@@ -71,22 +72,22 @@
     A document never replaces one with an equal or higher number.
 
     Attributes:
-        number: Number of the document in force, 0 for none.
+        document_number: Number of the document in force, 0 for none.
         routes: Routes of that document, by address.
         removed_at: Removal times of routes that are no longer in force, by address.
     """
 
     def __init__(self) -> None:
-        self.number = 0
+        self.document_number = 0
         self.routes: dict[bytes, Route] = {}
         self.removed_at: dict[bytes, float] = {}
 
     def install(self, route_set: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        if route_set.number <= self.number:
+        if route_set.document_number <= self.document_number:
             return False
         previous_routes = self.routes
-        self.number = route_set.number
+        self.document_number = route_set.document_number
         self.routes = {route.address: route for route in route_set.routes}
         for address in previous_routes.keys() - self.routes.keys():
             self.removed_at[address] = now
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -5,20 +5,20 @@
 from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_tokens.packets import Head
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 
-class Held(NamedTuple):
+class BufferedPacket(NamedTuple):
     """A buffered packet.
 
     Attributes:
-        head: Its header fields.
+        header: Its header fields.
         data: Its bytes.
         expires_at: Time when it is dropped, in monotonic seconds.
     """
 
-    head: Head
+    header: PacketHeader
     data: bytes
     expires_at: float
 
@@ -31,12 +31,12 @@
         count: Total number of packets.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
-        self.by_token: dict[int, list[Held]] = {}
+        self.by_token: dict[int, list[BufferedPacket]] = {}
         self.count = 0
 
-    def put(self, header: Head, data: bytes, now: float) -> bool:
+    def add(self, header: PacketHeader, data: bytes, now: float) -> bool:
         """Buffer a packet if there is room; return whether to look up its token.
 
         The token is looked up only for the first packet that carries it.
@@ -44,11 +44,13 @@
         if self.count >= self.settings.token_buffer_limit:
             return False
         packets = self.by_token.setdefault(header.token, [])
-        packets.append(Held(header, data, now + self.settings.token_lookup_timeout_s))
+        packets.append(
+            BufferedPacket(header, data, now + self.settings.token_lookup_timeout_s)
+        )
         self.count += 1
         return len(packets) == 1
 
-    def pop_packets(self, token: int) -> list[Held]:
+    def pop_packets(self, token: int) -> list[BufferedPacket]:
         """Remove and return the packets that carry a token."""
         packets = self.by_token.pop(token, [])
         self.count -= len(packets)
@@ -73,31 +75,33 @@
         by_flow: The packets by flow key.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
-        self.by_flow: dict[bytes, Held] = {}
+        self.by_flow: dict[bytes, BufferedPacket] = {}
 
-    def put(self, header: Head, data: bytes, now: float) -> bool:
+    def add(self, header: PacketHeader, data: bytes, now: float) -> bool:
         """Buffer a SYN packet; return whether there was room.
 
         A retransmission replaces the SYN packet buffered for its flow and keeps its
         deadline.
         """
         settings = self.settings
-        buffered = self.by_flow.get(header.flow)
+        buffered = self.by_flow.get(header.flow_key)
         if buffered is None and len(self.by_flow) >= settings.syn_buffer_limit:
             return False
-        offset_index = min(header.copy, len(settings.syn_transmission_offsets_s) - 1)
+        offset_index = min(
+            header.retransmission_count, len(settings.syn_transmission_offsets_s) - 1
+        )
         first_sent_at = now - settings.syn_transmission_offsets_s[offset_index]
         expires_at = (
             buffered.expires_at
             if buffered
             else first_sent_at + settings.caller_syn_timeout_s
         )
-        self.by_flow[header.flow] = Held(header, data, expires_at)
+        self.by_flow[header.flow_key] = BufferedPacket(header, data, expires_at)
         return True
 
-    def due(self, now: float) -> list[Held]:
+    def unexpired_packets(self, now: float) -> list[BufferedPacket]:
         """Drop packets whose callers no longer wait; return the other packets."""
         for flow_key, packet in list(self.by_flow.items()):
             if packet.expires_at <= now:
--- a/libs/tokens/src/kumquatmux_tokens/work.py
+++ b/libs/tokens/src/kumquatmux_tokens/work.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.settings import TokenRouterSettings
 
 
 class ServerLoad(NamedTuple):
@@ -106,13 +106,13 @@
         reservation_count: Number of reservations made.
     """
 
-    def __init__(self, settings: TokenSettings) -> None:
+    def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.totals: dict[int, PeerLoadTotal] = {}
         self.reporting_peers: dict[VmId, ReportingPeer] = {}
         self.reservation_count = 0
 
-    def take(self, report: LoadShare, now: float) -> None:
+    def apply_report(self, report: LoadShare, now: float) -> None:
         """Apply a load report from another VM.
 
         A report that a newer one overtook is ignored. A report number that is lower by
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -3,24 +3,24 @@
 import pytest
 
 from kumquatmux_tokens.load import LoadTracker
-from kumquatmux_tokens.packets import Head
-from kumquatmux_tokens.settings import TokenSettings
+from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import LoadShare
 
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
 FLOW_KEY = bytes(6) + ROUTE_ADDRESS
-SYN = Head(FLOW_KEY, ROUTE_ADDRESS, 0, True, False, 0, 100, 0, 0)
+SYN = PacketHeader(FLOW_KEY, ROUTE_ADDRESS, 0, True, False, 0, 100, 0, 0)
 
 
 def make_packet(sequence=101, acknowledged=500, length=0, is_closing=False):
-    return Head(
+    return PacketHeader(
         FLOW_KEY, ROUTE_ADDRESS, 7, False, is_closing, 0, sequence, acknowledged, length
     )
 
 
 @pytest.fixture
 def tracker():
-    load_tracker = LoadTracker(TokenSettings("e1", "a"))
+    load_tracker = LoadTracker(TokenRouterSettings("e1", "a"))
     load_tracker.record_syn(SYN, 7, 0.0)
     return load_tracker
 
@@ -98,11 +98,11 @@
 
 
 def test_reported_load_counts_until_it_expires(tracker):
-    other_tracker = LoadTracker(TokenSettings("e2", "a"))
-    other_tracker.zone.take(
+    other_tracker = LoadTracker(TokenRouterSettings("e2", "a"))
+    other_tracker.peer_load.apply_report(
         LoadShare("e1", 1, True, 0, tuple(tracker.reportable_loads(0.1))), 0.1
     )
     other_tracker.remove_expired(1.6)
-    assert other_tracker.zone.totals[7].active_requests == 1
+    assert other_tracker.peer_load.totals[7].active_requests == 1
     other_tracker.remove_expired(1.8)
-    assert other_tracker.zone.totals == {}
+    assert other_tracker.peer_load.totals == {}
