--- a/libs/daemons/src/kumquatmux_daemons/running.py
+++ b/libs/daemons/src/kumquatmux_daemons/running.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import os
+import resource
 import signal
-from collections.abc import Callable
+import sys
+import traceback
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import NamedTuple
 
@@ -20,6 +24,10 @@
 """Seconds between looks at the settings file, which may change without a signal."""
 
 
+DETAIL_CHARACTERS = 200
+"""Longest text of an error in a log line."""
+
+
 class Watch(NamedTuple):
     """The settings file and how the part of it is read that may change.
 
@@ -70,3 +78,37 @@
     except OSError as error:
         log_decision("settings-unread", file=path, problem=error)
         return b""
+
+
+def log_launch(role: str) -> None:
+    """Log what a program runs on: interpreter, processor, descriptors."""
+    log_decision(
+        "launched",
+        role=role,
+        python=sys.version.partition(" ")[0],
+        processor=os.uname().machine,
+        descriptors=resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+    )
+
+
+def log_failure(failure: BaseException) -> None:
+    """Log each error that ends a program, with the place in the code."""
+    for error in _single_errors(failure):
+        frames = traceback.extract_tb(error.__traceback__)
+        last = frames[-1] if frames else None
+        log_decision(
+            "program-failed",
+            error=type(error).__name__,
+            detail=str(error)[:DETAIL_CHARACTERS],
+            place=f"{Path(last.filename).name}:{last.lineno}" if last else "",
+            function=last.name if last else "",
+        )
+
+
+def _single_errors(failure: BaseException) -> Iterator[BaseException]:
+    """Yield the errors of a group, or the error itself."""
+    if not isinstance(failure, BaseExceptionGroup):
+        yield failure
+        return
+    for error in failure.exceptions:
+        yield from _single_errors(error)
--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
+import json
 import subprocess
 import sys
 
 import pytest
 
+from kumquatmux_core import decisions
 from kumquatmux_platform import __main__ as programs
+from kumquatmux_platform import program
+from kumquatmux_platform.node_file import registrar_settings
 
 HEAVY = ("typer", "starlette", "hypercorn", "httpx", "cryptography", "zmq", "absl")
+NODE = {
+    "node-name": "core-cnx-a-1",
+    "ip": "127.0.0.1",
+    "zone": "cnx-a",
+    "bind-addrs": {"control": "127.0.0.1:8166"},
+    "internal-port-range": [7720, 7735],
+    "seed-nodes": ["127.0.0.1:8166"],
+}
 
 
 def test_a_program_that_is_not_there_is_a_usage_error(capsys):
@@ -37,3 +49,26 @@
     loaded = {name.partition(".")[0] for name in told.split()}
     assert "trio" in loaded
     assert loaded.isdisjoint(HEAVY)
+
+
+async def _fail(settings, surroundings):
+    raise OverflowError("too large")
+
+
+# Guards against programs that end without a line that says why.
+def test_a_program_that_fails_logs_the_error_and_its_place(tmp_path, monkeypatch):
+    lines = []
+    monkeypatch.setattr(program.LineWriter, "put", lambda *line: lines.append(line[1:]))
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({**NODE, "data-dir": str(tmp_path)}))
+    monkeypatch.setenv("KUMQUATMUX_NODE_FILE", str(path))
+    try:
+        with pytest.raises(OverflowError):
+            program.run_program("control", registrar_settings, _fail)
+    finally:
+        decisions.configure(as_json=False)
+    told = dict(lines)
+    assert told["launched"]["role"] == "control"
+    assert told["program-failed"]["error"] == "OverflowError"
+    assert told["program-failed"]["function"] == "_fail"
+    assert told["program-failed"]["place"].startswith("test_programs.py:")
