Show with real processes what ends programs

Checked: no program ends by itself, one told to stop ends with 0, an acknowledged manifest is read back, every entry VM serves at the end, an open flow whose server lives is not reset.

--- /dev/null
+++ b/tests/programs/disturbances.py
@@ -0,0 +1,237 @@
+"""What is done to running programs from outside, one step after the other."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import odd
+from programs import METRICS_PORT, Programs
+from standins.calls import ANSWER_S, call_once
+from standins.deployment import Machine
+from standins.operator import Operator
+from traffic import Traffic
+
+CALLS_A_STEP = 40
+DATAGRAMS_A_STEP = 150
+IDLE_CONNECTIONS = 120
+IDLE_S = 1.0
+HELD_PORT_S = 1.2
+DAMAGED_S = 1.5
+EARLY_S = 0.7
+"""Seconds after a start in which a signal may come."""
+
+CHANGES_A_STEP = 4
+
+
+class Disturber:
+    """Carries out steps that a seed chooses.
+
+    Attributes:
+        faults: How many steps of each kind were carried out.
+        violations: What was answered in a way that it must not be.
+    """
+
+    def __init__(
+        self, random: Random, programs: Programs, operator: Operator, traffic: Traffic
+    ) -> None:
+        self.random = random
+        self.programs = programs
+        self.operator = operator
+        self.traffic = traffic
+        self.faults: dict[str, int] = {}
+        self.violations: list[str] = []
+        self.has_damaged = False
+        self.sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sender.bind((programs.ip(240), 0))
+        self.sender.setblocking(False)
+        self.steps: dict[str, Callable[[], Awaitable[None]]] = {
+            "odd-calls": self.odd_calls,
+            "odd-datagrams": self.odd_datagrams,
+            "odd-settings": self.odd_settings,
+            "hang-up": self.hang_up,
+            "stop": self.stop,
+            "kill": self.kill,
+            "early-signals": self.early_signals,
+            "changes": self.changes,
+            "replace-server": self.replace_server,
+            "idle-connections": self.idle_connections,
+            "held-port": self.held_port,
+            "damaged-file": self.damaged_file,
+        }
+
+    async def run(self, names: list[str]) -> None:
+        """Carry out some steps in order."""
+        for name in names:
+            self.faults[name] = self.faults.get(name, 0) + 1
+            self.programs.record.line(f"step {name}")
+            await self.steps[name]()
+
+    def any_vm(self) -> Machine:
+        """Return one of all VMs."""
+        return self.random.choice(list(self.programs.machines.values()))
+
+    async def odd_calls(self) -> None:
+        """Call control VMs with what they cannot take."""
+        for _ in range(CALLS_A_STEP):
+            vm = self.random.choice(self.programs.controls)
+            address = f"{vm.ip}:{self.programs.ports.control}"
+            chosen = self.random.random()
+            if chosen < 0.25:
+                await self._send_raw(address, odd.odd_bytes(self.random))
+                continue
+            is_report = chosen < 0.65
+            call = (
+                odd.odd_report(self.random, self.programs.ip(250))
+                if is_report
+                else odd.odd_manifest(self.random, self.traffic.manifest(1))
+            )
+            answer = await call_once(address, *call)
+            if not is_report and 200 <= answer.status < 300:
+                self.violations.append(
+                    f"invalid manifest acknowledged: {call.body[:300]!r}"
+                )
+
+    async def odd_datagrams(self) -> None:
+        """Send datagrams that hold nothing sound to both ports of VMs."""
+        route = self.traffic.route_bytes()
+        for _ in range(DATAGRAMS_A_STEP):
+            vm = self.any_vm()
+            if vm.role == "entry" and self.random.random() < 0.5:
+                data = odd.odd_packet(self.random, route)
+                port = self.programs.ports.packets
+            else:
+                data = odd.odd_datagram(self.random)
+                port = self.programs.ports.internal
+            try:
+                self.sender.sendto(data, (vm.ip, port))
+            except OSError:
+                continue
+        await asyncio.sleep(0.1)
+
+    async def odd_settings(self) -> None:
+        """Change a settings file to something odd, and back."""
+        vm = self.any_vm()
+        path = self.programs.settings_path(vm)
+        sound = path.read_bytes()
+        path.write_bytes(odd.odd_settings(self.random, json.loads(sound)))
+        await self._hang_up(vm)
+        await asyncio.sleep(0.2)
+        path.write_bytes(sound)
+        await self._hang_up(vm)
+
+    async def hang_up(self) -> None:
+        """Tell all programs of a role that their settings changed, some times."""
+        role = self.random.choice(("control", "entry"))
+        for _ in range(self.random.randrange(1, 4)):
+            for vm in self.programs.machines.values():
+                if vm.role == role:
+                    await self._hang_up(vm)
+
+    async def stop(self) -> None:
+        """Stop a program gracefully; it is started again."""
+        self.programs.terminate(self.any_vm())
+        await asyncio.sleep(self.random.uniform(0.0, 1.0))
+
+    async def kill(self) -> None:
+        """Kill one or two programs of different roles; they are started again."""
+        self.programs.kill(self.random.choice(self.programs.controls))
+        if self.random.random() < 0.5:
+            self.programs.kill(self.random.choice(self.programs.entries))
+        await asyncio.sleep(self.random.uniform(0.0, 1.0))
+
+    async def early_signals(self) -> None:
+        """Send signals to a program that has just been started again."""
+        vm = self.any_vm()
+        self.programs.kill(vm)
+        await asyncio.sleep(0.5)
+        if not await self.programs.wait_for_handlers(vm):
+            return
+        for _ in range(3):
+            await asyncio.sleep(self.random.uniform(0.0, EARLY_S / 3))
+            self.programs.hang_up(vm)
+        if self.random.random() < 0.4:
+            self.programs.terminate(vm)
+
+    async def changes(self) -> None:
+        """Change the manifest some times."""
+        for _ in range(CHANGES_A_STEP):
+            await self.traffic.change_manifest(self.operator)
+
+    async def replace_server(self) -> None:
+        """End a server and start another one at its address."""
+        await self.traffic.replace_server(self.random)
+
+    async def idle_connections(self) -> None:
+        """Open connections that never call."""
+        vm = self.any_vm()
+        ports = self.programs.ports
+        port = ports.control if vm.role == "control" else ports.ready
+        holders = []
+        for _ in range(IDLE_CONNECTIONS):
+            holder = socket.socket()
+            holder.setblocking(False)
+            holder.connect_ex((vm.ip, port))
+            holders.append(holder)
+        await asyncio.sleep(IDLE_S)
+        for holder in holders:
+            holder.close()
+
+    async def held_port(self) -> None:
+        """Start a program again while something else holds its metrics port."""
+        vm = self.any_vm()
+        self.programs.kill(vm)
+        while self.programs.is_running(vm):
+            await asyncio.sleep(0.01)
+        holder = self.programs.hold_port(vm, METRICS_PORT)
+        await asyncio.sleep(HELD_PORT_S)
+        if holder is not None:
+            holder.close()
+
+    async def damaged_file(self) -> None:
+        """Damage a file of a killed control VM; its folder is moved away later.
+
+        Once a run: the deployment bears the loss of one disk.
+        """
+        if self.has_damaged:
+            return
+        self.has_damaged = True
+        vm = self.random.choice(self.programs.controls)
+        self.programs.kill(vm)
+        while self.programs.is_running(vm):
+            await asyncio.sleep(0.01)
+        folder = self.programs.data_folder(vm)
+        names = [name for name in os.listdir(folder) if name != "lock"]
+        if names:
+            path = folder / self.random.choice(sorted(names))
+            content = bytearray(path.read_bytes() or b"\0")
+            content[self.random.randrange(len(content))] ^= 1 << self.random.randrange(
+                8
+            )
+            path.write_bytes(content)
+        await asyncio.sleep(DAMAGED_S)
+        away = folder.with_suffix(".away")
+        away.mkdir()
+        for name in names:
+            if (folder / name).exists():
+                (folder / name).rename(away / name)
+        self.programs.kill(vm)
+
+    async def _hang_up(self, vm: Machine) -> None:
+        if await self.programs.wait_for_handlers(vm):
+            self.programs.hang_up(vm)
+
+    async def _send_raw(self, address: str, data: bytes) -> None:
+        ip, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                reader, writer = await asyncio.open_connection(ip, int(port))
+                writer.write(data)
+                await reader.read(1000)
+                writer.close()
+        except (OSError, TimeoutError):
+            return
