Take signals from the first instant of a program

Cause: handlers were set by the watcher of signals, after the libraries, the settings, the disk and the sockets. Also, the watcher of the settings file took the content at its own start for the one that had been read. A SIGHUP before there is a follower is made up for; the file is compared with what was read; a program that still waits for its disk obeys SIGTERM and ends with code 0, writing its lines meanwhile. Ruled out: ignoring SIGHUP, as a change told then would be lost.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -4,6 +4,7 @@
 
 import secrets
 from collections import Counter
+from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
@@ -31,7 +32,7 @@
 from kumquatmux_daemons.registrar.calls import Answer, CallFormat, Outcome
 from kumquatmux_daemons.registrar.core import Answered, CoreParts, RegistrarCore, Sent
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
-from kumquatmux_daemons.running import Watch, watch_settings, watch_signals
+from kumquatmux_daemons.running import Steering
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams, every
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
@@ -68,13 +69,13 @@
         settings: Its settings.
         format: How calls look on the wire.
         lines: Where its log lines go.
-        watch: Its settings file.
+        steering: What signals and its settings file ask of it.
     """
 
     settings: RegistrarSettings
     format: CallFormat
     lines: LineWriter
-    watch: Watch
+    steering: Steering
 
 
 class Desk:
@@ -192,8 +193,21 @@
 
 async def run_registrar(parts: RegistrarParts) -> None:
     """Run a registrar until it has stopped gracefully."""
-    settings = parts.settings
+    steering = parts.steering
     parts.lines.tick(trio.current_time())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(steering.watch_signals)
+        desk = await steering.prepare(partial(prepare_desk, parts), parts.lines)
+        if desk is not None:
+            await serve_until_stopped(desk, parts, nursery)
+        nursery.cancel_scope.cancel()
+    log_decision("stopped", role="registrar")
+    parts.lines.flush()
+
+
+async def prepare_desk(parts: RegistrarParts) -> Desk:
+    """Return the desk, once the data folder is open and the port is bound."""
+    settings = parts.settings
     store = await open_when_possible(settings)
     random = Random(secrets.randbits(64))
     agreed = Agreed(replica_settings(settings, store), store, random)
@@ -201,26 +215,29 @@
     core_parts = CoreParts(agreed, SavedServers(store.disk))
     core = RegistrarCore(settings, core_parts, incarnation, trio.current_time())
     messages = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES)
-    desk = Desk(core, PeerDatagrams(settings.peers, messages), parts.lines)
-    stopping = trio.Event()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(desk.peers.serve, desk.take)
-        nursery.start_soon(every, TICK_S, desk.tick)
-        handle_call = calls_handler(desk, parts)
-        nursery.start_soon(serve_calls, settings.calls, handle_call, desk)
-        nursery.start_soon(serve_http, settings.metrics, metrics_handler(desk, parts))
-        nursery.start_soon(watch_signals, parts.watch, core.follower, stopping)
-        nursery.start_soon(watch_settings, parts.watch, core.follower)
-        log_decision("started", role="registrar", zone=settings.zone)
-        await stopping.wait()
-        desk.carry_out(core.stop(trio.current_time()))
-        await trio.sleep(STOP_S)
-        desk.stop()
-        with trio.move_on_after(LAST_ANSWERS_S):
-            await desk.stopped.wait()
-        nursery.cancel_scope.cancel()
-    log_decision("stopped", role="registrar")
-    parts.lines.flush()
+    return Desk(core, PeerDatagrams(settings.peers, messages), parts.lines)
+
+
+async def serve_until_stopped(
+    desk: Desk, parts: RegistrarParts, nursery: trio.Nursery
+) -> None:
+    """Serve until the program has to stop and the last call is answered."""
+    settings = parts.settings
+    steering = parts.steering
+    nursery.start_soon(desk.peers.serve, desk.take)
+    nursery.start_soon(every, TICK_S, desk.tick)
+    handle_call = calls_handler(desk, parts)
+    nursery.start_soon(serve_calls, settings.calls, handle_call, desk)
+    nursery.start_soon(serve_http, settings.metrics, metrics_handler(desk, parts))
+    steering.steer(desk.core.follower)
+    nursery.start_soon(steering.watch_settings)
+    log_decision("started", role="registrar", zone=settings.zone)
+    await steering.stopping.wait()
+    desk.carry_out(desk.core.stop(trio.current_time()))
+    await trio.sleep(STOP_S)
+    desk.stop()
+    with trio.move_on_after(LAST_ANSWERS_S):
+        await desk.stopped.wait()
 
 
 async def serve_calls(bind: Endpoint, handler: Handler, desk: Desk) -> None:
--- a/libs/daemons/src/kumquatmux_daemons/running.py
+++ b/libs/daemons/src/kumquatmux_daemons/running.py
@@ -7,14 +7,16 @@
 import signal
 import sys
 import traceback
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import trio
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
+from kumquatmux_core.lines import LineWriter
+from kumquatmux_daemons.early_signals import SIGNALS, EarlySignals
 from kumquatmux_registry.follower import Follower
 
 EXIT_OK = 0
@@ -23,10 +25,15 @@
 WATCH_S = 2.0
 """Seconds between looks at the settings file, which may change without a signal."""
 
+LINES_S = 0.1
+"""Seconds between writes of lines while a program prepares its parts."""
 
 DETAIL_CHARACTERS = 200
 """Longest text of an error in a log line."""
 
+Part = TypeVar("Part")
+"""What a program prepares before it serves."""
+
 
 class Watch(NamedTuple):
     """The settings file and how the part of it is read that may change.
@@ -34,42 +41,100 @@
     Attributes:
         path: The file.
         read_seeds: Returns the seeds that it names, none if it cannot be read.
+        content: What it held when the program read its settings.
     """
 
     path: Path
     read_seeds: Callable[[], tuple[VmId, ...]]
+    content: bytes = b""
 
 
-def reload(watch: Watch, follower: Follower) -> None:
-    """Read the seeds anew; what cannot be read changes nothing."""
-    seeds = watch.read_seeds()
-    log_decision("reloaded", file=watch.path, seeds=",".join(seeds))
-    if seeds:
-        follower.set_seeds(seeds)
-
-
-async def watch_signals(watch: Watch, follower: Follower, stopping: trio.Event) -> None:
-    """Reload at SIGHUP and begin to stop at SIGTERM or SIGINT, until cancelled."""
-    with trio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                reload(watch, follower)
-                continue
-            log_decision("stopping", signal=signal.Signals(number).name)
-            stopping.set()
+class Steering:
+    """What signals and the settings file ask of a program, from its start on.
 
+    Attributes:
+        watch: The settings file.
+        early: Signals that came before they were watched.
+        stopping: Set when the program has to stop.
+        follower: What the seeds are for, None until the program has it.
+        is_reload_due: Whether to reload as soon as there is a follower.
+    """
 
-async def watch_settings(watch: Watch, follower: Follower) -> None:
-    """Reload when the content of the settings file changes, until cancelled."""
-    known = _content(watch.path)
+    def __init__(self, watch: Watch, early: EarlySignals) -> None:
+        self.watch = watch
+        self.early = early
+        self.stopping = trio.Event()
+        self.follower: Follower | None = None
+        self.is_reload_due = False
+
+    def steer(self, follower: Follower) -> None:
+        """Hand the seeds to a follower from now on."""
+        self.follower = follower
+        if self.is_reload_due:
+            self.reload()
+
+    def reload(self) -> None:
+        """Read the seeds anew; what cannot be read changes nothing."""
+        if self.follower is None:
+            self.is_reload_due = True
+            return
+        seeds = self.watch.read_seeds()
+        log_decision("reloaded", file=self.watch.path, seeds=",".join(seeds))
+        if seeds:
+            self.follower.set_seeds(seeds)
+
+    def take(self, number: int) -> None:
+        """Reload at SIGHUP, begin to stop at any other signal."""
+        if number == signal.SIGHUP:
+            self.reload()
+            return
+        log_decision("stopping", signal=signal.Signals(number).name)
+        self.stopping.set()
+
+    async def watch_signals(self) -> None:
+        """Take the early signals and all that follow, until cancelled."""
+        with trio.open_signal_receiver(*SIGNALS) as signals:
+            for number in self.early.take():
+                self.take(number)
+            async for number in signals:
+                self.take(number)
+
+    async def watch_settings(self) -> None:
+        """Reload when the content of the settings file changes, until cancelled."""
+        known = self.watch.content
+        while True:
+            content = _content(self.watch.path)
+            if content and content != known:
+                known = content
+                self.reload()
+            await trio.sleep(WATCH_S)
+
+    async def prepare(
+        self, prepared: Callable[[], Awaitable[Part]], lines: LineWriter
+    ) -> Part | None:
+        """Return what a preparation gives, None if the program has to stop first.
+
+        Args:
+            prepared: Prepares a part, however long its surroundings take.
+            lines: Lines that are written meanwhile.
+        """
+        part: Part | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_at_stop, nursery.cancel_scope)
+            nursery.start_soon(_write_lines, lines)
+            part = await prepared()
+            nursery.cancel_scope.cancel()
+        return part
+
+    async def _cancel_at_stop(self, scope: trio.CancelScope) -> None:
+        await self.stopping.wait()
+        scope.cancel()
+
+
+async def _write_lines(lines: LineWriter) -> None:
     while True:
-        await trio.sleep(WATCH_S)
-        content = _content(watch.path)
-        if content and content != known:
-            known = content
-            reload(watch, follower)
+        lines.tick(trio.current_time())
+        await trio.sleep(LINES_S)
 
 
 def _content(path: Path) -> bytes:
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -4,6 +4,7 @@
 
 import secrets
 from collections.abc import Iterable
+from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
@@ -16,7 +17,7 @@
 from kumquatmux_daemons import metrics_text
 from kumquatmux_daemons.entry.port import PacketPort
 from kumquatmux_daemons.plain_http.server import HttpAnswer, HttpCall, serve_http
-from kumquatmux_daemons.running import Watch, watch_settings, watch_signals
+from kumquatmux_daemons.running import Steering
 from kumquatmux_daemons.timers import Timer
 from kumquatmux_daemons.token_entry.core import Datagram, Effect, EntryCore
 from kumquatmux_daemons.token_entry.formats import EntryFormat
@@ -34,13 +35,13 @@
         settings: Its settings.
         format: How packets and documents look.
         lines: Where its log lines go.
-        watch: Its settings file.
+        steering: What signals and its settings file ask of it.
     """
 
     settings: EntrySettings
     format: EntryFormat
     lines: LineWriter
-    watch: Watch
+    steering: Steering
 
 
 class Ports(NamedTuple):
@@ -60,13 +61,33 @@
 
 async def run_entry(parts: EntryParts) -> None:
     """Run an entry VM until it has stopped gracefully."""
-    settings = parts.settings
+    steering = parts.steering
     parts.lines.tick(trio.current_time())
-    random = Random(secrets.randbits(64))
-    core = EntryCore(settings, parts.format, random, trio.current_time())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(steering.watch_signals)
+        ports = await steering.prepare(partial(prepare_ports, parts), parts.lines)
+        if ports is not None:
+            await serve_until_stopped(ports, parts, nursery)
+        nursery.cancel_scope.cancel()
+    log_decision("stopped", role="entry")
+    parts.lines.flush()
+
+
+async def prepare_ports(parts: EntryParts) -> Ports:
+    """Return the sockets, once they are bound."""
+    settings = parts.settings
     messages = registry(FEED_MESSAGES, LOOKUP_MESSAGES, TOKEN_MESSAGES)
-    ports = Ports(PacketPort(settings.packets), PeerDatagrams(settings.peers, messages))
+    return Ports(PacketPort(settings.packets), PeerDatagrams(settings.peers, messages))
+
 
+async def serve_until_stopped(
+    ports: Ports, parts: EntryParts, nursery: trio.Nursery
+) -> None:
+    """Serve until the program has to stop and the fabric has let go."""
+    settings = parts.settings
+    steering = parts.steering
+    random = Random(secrets.randbits(64))
+    core = EntryCore(settings, parts.format, random, trio.current_time())
     timer = Timer()
     lines = parts.lines
 
@@ -86,24 +107,18 @@
         ports.carry_out(core.tick(now))
         return core.due_at(now)
 
-    stopping = trio.Event()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(ports.packets.serve, take_packet, end_batch)
-        nursery.start_soon(ports.peers.serve, take_message, end_batch)
-        nursery.start_soon(timer.run, tick)
-        nursery.start_soon(serve_http, settings.readiness, readiness_handler(core))
-        nursery.start_soon(
-            serve_http, settings.metrics, metrics_handler(core, ports, parts.lines)
-        )
-        nursery.start_soon(watch_signals, parts.watch, core.follower, stopping)
-        nursery.start_soon(watch_settings, parts.watch, core.follower)
-        log_decision("started", role="entry", zone=settings.zone)
-        await stopping.wait()
-        ports.carry_out(core.stop(trio.current_time()))
-        await trio.sleep(settings.stop_s)
-        nursery.cancel_scope.cancel()
-    log_decision("stopped", role="entry")
-    parts.lines.flush()
+    nursery.start_soon(ports.packets.serve, take_packet, end_batch)
+    nursery.start_soon(ports.peers.serve, take_message, end_batch)
+    nursery.start_soon(timer.run, tick)
+    nursery.start_soon(serve_http, settings.readiness, readiness_handler(core))
+    answer_metrics = metrics_handler(core, ports, lines)
+    nursery.start_soon(serve_http, settings.metrics, answer_metrics)
+    steering.steer(core.follower)
+    nursery.start_soon(steering.watch_settings)
+    log_decision("started", role="entry", zone=settings.zone)
+    await steering.stopping.wait()
+    ports.carry_out(core.stop(trio.current_time()))
+    await trio.sleep(settings.stop_s)
 
 
 def readiness_handler(core: EntryCore) -> Any:
