--- a/libs/daemons/src/kumquatmux_daemons/running.py
+++ b/libs/daemons/src/kumquatmux_daemons/running.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import resource
 import signal
@@ -25,6 +26,9 @@
 WATCH_S = 2.0
 """Seconds between looks at the settings file, which may change without a signal."""
 
+SETTINGS_BYTES = 1_048_576
+"""Longest settings file."""
+
 LINES_S = 0.1
 """Seconds between writes of lines while a program prepares its parts."""
 
@@ -137,9 +141,22 @@
         await trio.sleep(LINES_S)
 
 
+def read_settings(path: Path) -> bytes:
+    """Return the content of a settings file; raises ``OSError`` if it is too long.
+
+    What is no file, such as a pipe that nobody writes to, is not waited for.
+    """
+    file = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+    with open(file, "rb") as opened:
+        content = opened.read(SETTINGS_BYTES + 1) or b""
+    if len(content) > SETTINGS_BYTES:
+        raise OSError(errno.EFBIG, os.strerror(errno.EFBIG), str(path))
+    return content
+
+
 def _content(path: Path) -> bytes:
     try:
-        return path.read_bytes()
+        return read_settings(path)
     except OSError as error:
         log_decision("settings-unread", file=path, problem=error)
         return b""
