Wait for a port that is taken or an address that is not there

Seen by callers: a port still held, the port of the metrics held by anybody, or an address that comes late ended a program with 24 to 32 lines of traceback; it was started again and ended again. Cause: OSError of bind ended the nursery or the program. Change: a bind-waits line at once (again when the problem changes and every 10 s), an attempt every 0.5 s, SIGTERM obeyed meanwhile; a server whose port is taken keeps no other from serving. A socket that could not be bound is closed. Ruled out: SO_REUSEPORT, which would let two programs share the packets. In plain_http/server.py only listen and the line that calls it changed.

--- a/libs/daemons/src/kumquatmux_daemons/entry/port.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/port.py
@@ -26,7 +26,11 @@
         self.socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self.socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
-        self.socket.bind(bind)
+        try:
+            self.socket.bind(bind)
+        except OSError:
+            self.socket.close()
+            raise
 
     def send(self, data: bytes | bytearray, target: tuple[str, int]) -> None:
         """Send a datagram; a full or refused socket drops it like any network."""
--- a/libs/daemons/src/kumquatmux_daemons/plain_http/server.py
+++ b/libs/daemons/src/kumquatmux_daemons/plain_http/server.py
@@ -12,6 +12,7 @@
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import Endpoint
+from kumquatmux_daemons.waiting import bind_when_possible
 
 BACKLOG = 512
 READ_BYTES = 65_536
@@ -86,12 +87,14 @@
 ) -> None:
     """Serve calls at an address, until cancelled or shut down.
 
+    It waits while the address cannot be bound.
+
     Args:
         bind: The address.
         handler: Answers calls.
         shutdown: Lets the server end once the calls that arrived are answered.
     """
-    bound = listen(bind)
+    bound = await bind_when_possible(listen, bind)
     listener = trio.socket.from_stdlib_socket(bound)
     shutdown = shutdown or Shutdown()
     async with trio.open_nursery() as nursery:
@@ -124,12 +127,16 @@
 
 
 def listen(bind: Endpoint) -> socket.socket:
-    """Return a listening socket that does not block."""
+    """Return a listening socket that does not block; may raise ``OSError``."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setblocking(False)
-    listener.bind(bind)
-    listener.listen(BACKLOG)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(bind)
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
     return listener
 
 
--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -34,6 +34,7 @@
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
 from kumquatmux_daemons.running import Steering
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams, every
+from kumquatmux_daemons.waiting import bind_when_possible, wait_for
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
 from kumquatmux_registry.saved import SavedServers
@@ -182,13 +183,8 @@
 
 
 async def open_when_possible(settings: RegistrarSettings) -> Store:
-    """Return the open data folder, waiting while its disk takes no writes."""
-    while True:
-        store = open_store(settings)
-        if store.is_ok():
-            return store.ok
-        log_decision("storage-unusable", problem=store.error)
-        await trio.sleep(ANSWER_S / 8)
+    """Return the open data folder, waiting while it cannot be used."""
+    return await wait_for(partial(open_store, settings), "storage-unusable")
 
 
 async def run_registrar(parts: RegistrarParts) -> None:
@@ -215,7 +211,10 @@
     core_parts = CoreParts(agreed, SavedServers(store.disk))
     core = RegistrarCore(settings, core_parts, incarnation, trio.current_time())
     messages = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES)
-    return Desk(core, PeerDatagrams(settings.peers, messages), parts.lines)
+    peers = await bind_when_possible(
+        partial(PeerDatagrams, messages=messages), settings.peers
+    )
+    return Desk(core, peers, parts.lines)
 
 
 async def serve_until_stopped(
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -23,6 +23,7 @@
 from kumquatmux_daemons.token_entry.formats import EntryFormat
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams
+from kumquatmux_daemons.waiting import bind_when_possible
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
 from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
@@ -77,7 +78,11 @@
     """Return the sockets, once they are bound."""
     settings = parts.settings
     messages = registry(FEED_MESSAGES, LOOKUP_MESSAGES, TOKEN_MESSAGES)
-    return Ports(PacketPort(settings.packets), PeerDatagrams(settings.peers, messages))
+    packets = await bind_when_possible(PacketPort, settings.packets)
+    peers = await bind_when_possible(
+        partial(PeerDatagrams, messages=messages), settings.peers
+    )
+    return Ports(packets, peers)
 
 
 async def serve_until_stopped(
