Give a problem for every damage to a data folder

Seen by callers: nothing yet; found by generated damage. A control VM would end again and again on a folder with such content. Cause: a decoder may raise more than its own two errors; a number near 2^64 was taken and the next term could not be encoded; a folder or pipe in the place of a file looked as if the file was missing, so that the new files of a first start were written beside it, and reading a pipe waits for good; any length was read into memory. Change: all that a decoder raises becomes file-content, numbers are 0 to 2^62, what is no file or longer than 1 GiB is disk-failed with its path, a folder of another VM says what to do. The settings file is looked at the same way, without open flags of its own. Recorded bytes decode and encode as before (tests/test_recorded_bytes.py).

--- a/libs/daemons/src/kumquatmux_daemons/running.py
+++ b/libs/daemons/src/kumquatmux_daemons/running.py
@@ -146,9 +146,10 @@
 
     What is no file, such as a pipe that nobody writes to, is not waited for.
     """
-    file = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
-    with open(file, "rb") as opened:
-        content = opened.read(SETTINGS_BYTES + 1) or b""
+    if path.exists() and not path.is_file():
+        raise OSError(errno.EINVAL, "it is not a file", str(path))
+    with path.open("rb") as file:
+        content = file.read(SETTINGS_BYTES + 1)
     if len(content) > SETTINGS_BYTES:
         raise OSError(errno.EFBIG, os.strerror(errno.EFBIG), str(path))
     return content
--- a/libs/storage/src/kumquatmux_storage/disk.py
+++ b/libs/storage/src/kumquatmux_storage/disk.py
@@ -5,6 +5,7 @@
 import errno
 import fcntl
 import os
+import stat
 from pathlib import Path
 from typing import Protocol
 
@@ -13,6 +14,7 @@
 from kumquatmux_core.problems import Problem
 
 LOCK_FILE_NAME = "lock"
+MAX_FILE_BYTES = 1 << 30
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
 
@@ -61,13 +63,19 @@
         self._descriptors: dict[str, int] = {}
 
     def names(self) -> list[str]:
-        """Return the names of all files except the lock file."""
-        found = (path.name for path in self.folder.iterdir() if path.is_file())
+        """Return all names in the folder except that of the lock file."""
+        found = (path.name for path in self.folder.iterdir())
         return sorted(name for name in found if name != LOCK_FILE_NAME)
 
     def read(self, name: str) -> bytes:
-        """Return the content of a file."""
-        return (self.folder / name).read_bytes()
+        """Return the content of a file, which is bounded in length."""
+        path = self.folder / name
+        status = path.stat()
+        if not stat.S_ISREG(status.st_mode):
+            raise OSError(errno.EINVAL, "it is not a file", str(path))
+        if status.st_size > MAX_FILE_BYTES:
+            raise OSError(errno.EFBIG, os.strerror(errno.EFBIG), str(path))
+        return path.read_bytes()
 
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it does not exist."""
--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import singledispatch
+from itertools import chain
 from typing import Any, NamedTuple
 
 import msgspec
@@ -22,6 +24,15 @@
 
 FILE_KINDS = {IDENTITY: 1, VOTE: 2, SNAPSHOT: 3, LOG: 4, SYNCED: 5}
 
+NUMBER_END = 1 << 62
+"""End of the numbers that records may hold, so that none can outgrow an encoding."""
+
+DETAIL_CHARACTERS = 200
+"""Longest part of an error message that a decoder gave."""
+
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError, MemoryError)
+"""What a decoder raises for content that it cannot decode."""
+
 RECOVERY_ADVICE = (
     "nothing was changed; if the other control VMs have a majority, move this data "
     "folder away and restart, and this VM rejoins as a new replica"
@@ -68,6 +79,42 @@
     length: int
 
 
+@singledispatch
+def numbers_of(record: Any) -> tuple[int, ...]:
+    """Return the numbers of a record, which later ones are counted from."""
+    raise TypeError(f"unknown record {type(record).__name__}")
+
+
+@numbers_of.register
+def _(record: Identity) -> tuple[int, ...]:
+    return ()
+
+
+@numbers_of.register
+def _(record: LogHeader) -> tuple[int, ...]:
+    return tuple(record)
+
+
+@numbers_of.register
+def _(record: SyncedLength) -> tuple[int, ...]:
+    return tuple(record)
+
+
+@numbers_of.register
+def _(record: VoteRecord) -> tuple[int, ...]:
+    return (record.term,)
+
+
+@numbers_of.register
+def _(record: Snapshot | Entry) -> tuple[int, ...]:
+    return record.log_index, record.term
+
+
+@numbers_of.register
+def _(record: tuple) -> tuple[int, ...]:
+    return tuple(chain.from_iterable(map(numbers_of, record)))
+
+
 class LogFile(NamedTuple):
     """Decoded content of a log file.
 
@@ -192,10 +239,14 @@
     payload: bytes, record_type: Any, name: str, offset: int
 ) -> Result[Any, Problem]:
     try:
-        return Ok(msgspec.msgpack.decode(payload, type=record_type))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        problem = Problem("file-content", f"at offset {offset}: {error}", name)
-        return _with_recovery_advice(problem)
+        record = msgspec.msgpack.decode(payload, type=record_type)
+    except DECODE_ERRORS as error:
+        detail = f"at offset {offset}: {str(error)[:DETAIL_CHARACTERS]}"
+        return _with_recovery_advice(Problem("file-content", detail, name))
+    if not all(0 <= number < NUMBER_END for number in numbers_of(record)):
+        detail = f"at offset {offset}: a number out of bounds"
+        return _with_recovery_advice(Problem("file-content", detail, name))
+    return Ok(record)
 
 
 def _with_recovery_advice(problem: Problem) -> Result[Any, Problem]:
--- a/libs/storage/src/kumquatmux_storage/store.py
+++ b/libs/storage/src/kumquatmux_storage/store.py
@@ -141,7 +141,8 @@
         return create_store(disk, identity, initial_state)
     stored = store.identity
     if (stored.cluster, stored.vm) != (identity.cluster, identity.vm):
-        detail = f"the folder belongs to VM {stored.vm} of cluster {stored.cluster}"
+        owner = f"VM {stored.vm} of cluster {stored.cluster}"
+        detail = f"the folder belongs to {owner}; {files.RECOVERY_ADVICE}"
         return Error(Problem("folder-of-another", detail, files.IDENTITY))
     return Ok(store)
 
