--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -6,7 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from kumquatmux_core.codec import registry
 from kumquatmux_core.identity import Endpoint
+from kumquatmux_core.lines import LineSettings, LineWriter
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.plain_http.server import HttpCall
 from kumquatmux_daemons.registrar.calls import (
@@ -17,8 +19,11 @@
     ReadDocument,
     ReportCall,
 )
-from kumquatmux_platform.calls import PlatformCalls, pack, unpack
-from kumquatmux_registry.records import Lifetime, Phase
+from kumquatmux_platform.calls import REPORT_BYTES, PlatformCalls, pack, unpack
+from kumquatmux_platform.packets import server_number
+from kumquatmux_registry.feed import MESSAGE_TYPES, FeedAnswer
+from kumquatmux_registry.records import Lifetime, Phase, ServerRecord
+from kumquatmux_registry.saved import decode, encode
 
 CALLS = PlatformCalls(8166)
 BEAT = {
@@ -171,3 +176,185 @@
 @given(st.binary(max_size=300))
 def test_what_is_packed_comes_back(content):
     assert unpack(pack(content)) == content
+
+
+ODD_VALUES = (
+    2**53,
+    2**63,
+    2**64,
+    2**127,
+    10**400,
+    -(2**63),
+    -(2**127),
+    1e300,
+    1e-300,
+    "",
+    "\0",
+    "a\nb",
+    "\x7f",
+    "\u202e",
+    "x" * 256,
+    "x" * 900_000,
+    "9" * 5000,
+    "10.0.0.1:" + "1" * 5000,
+    "1" * 5000 + ".0.0.1:80",
+    "010.0.0.1:80",
+    "0.0.0.0:80",
+    "224.0.0.1:80",
+    "255.255.255.255:80",
+    "10.0.0.1:0",
+    "10.0.0.1:65536",
+    "10.0.0.1:\u0664",
+    None,
+    True,
+    [],
+    {},
+    [[]],
+)
+ODD_BYTES = (
+    b"1e999",
+    b"-1e999",
+    b"NaN",
+    b"Infinity",
+    b"9" * 400,
+    b"9" * 5000,
+    b'"\xff"',
+    b'"\\ud800"',
+    b'"\\udc00abcdefgh"',
+    b'"\\ud800\\ud800"',
+    b"[" * 100_000,
+    b"[" * 100_000 + b"]" * 100_000,
+    b'{"a":' * 5000 + b"1" + b"}" * 5000,
+    b"",
+    b"01",
+)
+HOLDER = "127.0.0.1"
+
+
+def with_field(body, field, value):
+    """Return a body with one field set to bytes that need not be JSON."""
+    marked = json.dumps({**body, field: "@"}).encode()
+    return marked.replace(b'"@"', value)
+
+
+def check_a_report_can_be_carried(report):
+    """Fail unless a report can be sent, kept, logged and told again."""
+    record = ServerRecord(report, HOLDER)
+    answer = FeedAnswer(
+        HOLDER, "cnx-a", 1, 0, 1, (record,), 1, b"", (HOLDER,), (), True
+    )
+    channel = registry(MESSAGE_TYPES)
+    assert channel.decode(channel.encode(answer)).ok == answer
+    assert decode(encode([record])).ok == [record]
+    lines = LineWriter(LineSettings(file_descriptor=-1), HOLDER)
+    fields = {"server": report.lifetime, "number": report.number, "x": report.service}
+    lines.put("server-known", fields)
+    assert len(report.endpoint.packed) == 6
+    assert float(report.slots) * report.warm_up_s < 1e12
+    assert len(channel.encode(answer)) < 4 * REPORT_BYTES
+
+
+def read_report(path, body):
+    """Read a report; return it if it names a server, else check its refusal."""
+    call = HttpCall("PUT", path, body)
+    read = CALLS.read_call(call)
+    if read.is_ok():
+        check_a_report_can_be_carried(read.ok.report)
+        return read.ok.report
+    answer = CALLS.write_answer(call, Answer(Outcome.REFUSED, problem=read.error))
+    assert 400 <= answer.status < 500
+    assert len(answer.body) < 1000
+    assert len(str(read.error)) < 1000
+    return None
+
+
+# Guards against a control VM that ends at a report with a value that it cannot carry.
+@pytest.mark.parametrize("field", [*sorted(BEAT), "note"])
+def test_a_report_with_any_odd_value_is_refused_or_can_be_carried(field):
+    for value in ODD_VALUES:
+        read_report("/v1/instances/i-7f", json.dumps({**BEAT, field: value}).encode())
+    for value in ODD_BYTES:
+        report = read_report("/v1/instances/i-7f", with_field(BEAT, field, value))
+        assert report is None or field == "note"
+
+
+# Guards against numbers that the log lines, the feed or the disk cannot hold.
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("seq", 2**64),
+        ("seq", 2**127),
+        ("born", 2**64),
+        ("concurrency", 10**18),
+        ("warmup-left-ms", 1e300),
+        ("backend", "x" * 256),
+        ("backend", "a\0b"),
+        ("zone", "x" * 900_000),
+        ("version", "a\nb"),
+        ("address", "10.0.0.1:" + "1" * 5000),
+        ("address", "010.0.0.1:80"),
+        ("address", "255.255.255.255:80"),
+    ],
+)
+def test_a_report_with_a_value_out_of_bounds_names_no_server(field, value):
+    body = json.dumps({**BEAT, field: value}).encode()
+    assert read_report("/v1/instances/i-7f", body) is None
+
+
+# Guards against ids that the datagrams to a server cannot name.
+@pytest.mark.parametrize(
+    "name",
+    ["i-0x1_0", "i-1_0", "i-+7f", "i--", "i-%37f", "i-" + "7" * 17, "x" * 200 + "-7f"],
+)
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+def test_an_id_without_hex_digits_of_its_own_names_no_server(name, method):
+    call = HttpCall(method, f"/v1/instances/{name}", json.dumps(BEAT).encode())
+    assert CALLS.read_call(call).is_error()
+
+
+# Guards against a report that says two things, of which each reader may take another.
+def test_a_report_that_gives_a_field_twice_names_no_server():
+    body = json.dumps(BEAT).encode()[:-1]
+    assert read_report("/v1/instances/i-7f", body + b',"seq":9}') is None
+    assert read_report("/v1/instances/i-7f", body + b',"seq":4}') is not None
+
+
+# Guards against a long path in the answer and in the log.
+def test_the_refusal_of_a_long_path_is_short():
+    read_report("/v1/" + "x" * 60_000, b"")
+    read_report("/v1/instances/" + "x" * 60_000, b"")
+
+
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(2**62, 2**130)
+    | st.floats()
+    | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+# Guards against values that no one thought of, in the fields of a sound report.
+@given(st.sampled_from([*sorted(BEAT), "note"]), json_values | st.binary(max_size=40))
+def test_a_report_with_any_value_is_refused_or_can_be_carried(field, value):
+    is_raw = isinstance(value, bytes)
+    body = (
+        with_field(BEAT, field, value)
+        if is_raw
+        else json.dumps({**BEAT, field: value}).encode()
+    )
+    read_report("/v1/instances/i-7f", body)
+
+
+# Guards against paths that no one thought of.
+@given(st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=40))
+def test_a_report_under_any_id_is_refused_or_can_be_carried(name):
+    report = read_report(f"/v1/instances/{name}", json.dumps(BEAT).encode())
+    if report is not None:
+        assert 0 <= server_number(report.lifetime.name) < 2**64
