Refuse manifests that cannot be read in full

Operators saw: one manifest nested 20,000 deep or with a port of 5,000 digits ended each control VM that took it, again and again as the order was repeated. Two kinds of invalid manifests were acknowledged: a byte that is no UTF-8 in a field that isn't declared, which the operator cannot read back, and an unknown service in `backend` beside weights.

Cause: the decoder skips fields that are not declared without looking at them, and its RecursionError is no ValueError; int() refuses more than 4,300 digits with an error that nobody caught; `_shares` dropped `backend` before the services were checked.

The body is now read as a whole (UTF-8, 64 levels, no field twice with two values, nothing after it) and refused with 400 and a short reason. Entry VMs keep the checks they had, so that what an earlier version acknowledged stays in force, and no longer end at deep nesting.

Ruled out: a check of the declared fields alone, as what comes back is the bytes as sent.

--- a/tests/adapter/test_manifest.py
+++ b/tests/adapter/test_manifest.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatmux_platform.manifest import read_manifest, read_routes
+from kumquatmux_platform.manifest import LONGEST_BYTES, read_manifest, read_routes
 
 GOOD = {
     "version": 7,
@@ -147,3 +147,143 @@
 )
 def test_any_document_is_read_or_refused(document):
     read_manifest(json.dumps(document).encode())
+
+
+SOUND = json.dumps(GOOD).encode()
+MARK = b'"limits"'
+
+
+def with_member(member):
+    """Return the sound manifest with another member, as bytes that need not be JSON."""
+    return SOUND.replace(MARK, member + b", " + MARK)
+
+
+def with_route_member(member):
+    """Return the sound manifest with another member in its first route."""
+    return SOUND.replace(b'"route-type": "safe"', member)
+
+
+UNREADABLE = {
+    "nested deep": with_member(b'"note": ' + b"[" * 20_000 + b"]" * 20_000),
+    "nested 100 deep": with_member(b'"note": ' + b"[" * 100 + b"]" * 100),
+    "objects nested deep": with_member(b'"a": ' + b'{"a":' * 5000 + b"1" + b"}" * 5000),
+    "never closed": b"[" * 500_000,
+    "no UTF-8 in a field that isn't known": with_member(b'"note": "\xff"'),
+    "no UTF-8 in a route": with_route_member(b'"note": "a\xc3("'),
+    "no UTF-8 in a key": with_member(b'"\xff": 1'),
+    "half a character": with_member(b'"note": "\\ud800"'),
+    "half a character before others": with_member(b'"note": "\\ud800abcdefgh"'),
+    "a version twice": with_member(b'"version": 8'),
+    "a field of a route twice": with_route_member(b'"backend": "pagesetter"'),
+    "bytes after it": SOUND + b"{}",
+    "a second one after it": SOUND + b"\n" + SOUND,
+    "NUL after it": SOUND + b"\0",
+    "not a number": with_member(b'"note": NaN'),
+    "a name with NUL bytes": with_route_member(b'"note": "\0"'),
+    "too long": SOUND + b" " * LONGEST_BYTES,
+    "UTF-16": json.dumps(GOOD).encode("utf-16"),
+    "byte order mark": b"\xef\xbb\xbf" + SOUND,
+}
+
+
+# Guards against a manifest that is acknowledged though nobody can read it in full.
+@pytest.mark.parametrize("content", UNREADABLE.values(), ids=UNREADABLE.keys())
+def test_a_manifest_that_cannot_be_read_in_full_is_refused_briefly(content):
+    problem = read_manifest(content).error
+    assert problem.code == "manifest-unread"
+    assert len(str(problem)) < 1000
+
+
+# Guards against numbers and texts that end the program where they are converted.
+@pytest.mark.parametrize(
+    "change",
+    [
+        put("/" + "1" * 5000 + "/", "routes", 0, "path-prefix"),
+        put("/" + "0" * 5000 + "/", "routes", 0, "path-prefix"),
+        put("/\u0664\u0664/", "routes", 0, "path-prefix"),
+        put("/-1/", "routes", 0, "path-prefix"),
+        put("1" * 5000 + ".1.1.1", "routes", 0, "host"),
+        put("198.18.0.1" * 90_000, "routes", 0, "host"),
+        put("nobody" * 100_000, "routes", 0, "backend"),
+        put(10**400, "routes", 0, "timeout-ms"),
+        put(10**400, "limits", "idle-timeout-ms"),
+    ],
+)
+def test_a_manifest_with_a_value_out_of_bounds_is_refused_briefly(change):
+    assert len(str(read_manifest(changed(change)).error)) < 1000
+
+
+# Guards against an unknown service beside weights, which no flow would go to.
+def test_a_route_with_weights_that_names_an_unknown_service_is_refused():
+    content = changed(put("nobody", "routes", 1, "backend"))
+    problem = read_manifest(content).error
+    assert str(problem) == "r-two: unknown backend nobody [manifest-invalid]"
+
+
+# Guards against a manifest that was acknowledged earlier and is not in force any more.
+def test_what_an_earlier_version_acknowledged_still_gives_its_routes():
+    earlier = [
+        changed(put("nobody", "routes", 1, "backend")),
+        with_member(b'"note": "\xff"'),
+        with_member(b'"note": ' + b"[" * 100 + b"]" * 100),
+    ]
+    assert all(read_routes(content).is_ok() for content in earlier)
+    assert read_routes(with_member(b'"a": ' + b"[" * 20_000)).is_error()
+
+
+# Guards against checks that refuse what the pages call valid.
+@pytest.mark.parametrize(
+    "content",
+    [
+        with_member(b'"note": "\\ud83d\\ude00 \xe0\xb8\x81"'),
+        with_member(b'"note": 1e999'),
+        with_member(b'"note": 123456789012345678901234567890'),
+        with_member(b'"version": 7'),
+        with_member(b'"note": ' + b"[" * 60 + b"]" * 60),
+        b"\r\n\t " + SOUND + b"\n",
+    ],
+)
+def test_a_manifest_with_unusual_and_sound_fields_is_taken(content):
+    assert read_manifest(content).is_ok()
+
+
+odd_values = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.integers(2**62, 2**130),
+    st.floats(),
+    st.text(max_size=20),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
+)
+PLACES = [
+    ("version",),
+    ("routes", 0, "name"),
+    ("routes", 0, "host"),
+    ("routes", 0, "path-prefix"),
+    ("routes", 0, "timeout-ms"),
+    ("routes", 0, "backend"),
+    ("routes", 1, "weighted-backends"),
+    ("routes", 1, "weighted-backends", 0, "weight"),
+    ("backends", 0, "name"),
+    ("limits", "idle-timeout-ms"),
+    ("limits",),
+    ("something-new",),
+]
+
+
+# Guards against values that no one thought of, in the fields of a sound manifest.
+@given(st.sampled_from(PLACES), odd_values)
+def test_a_manifest_with_any_value_is_refused_or_gives_its_routes(place, value):
+    content = changed(put(value, *place))
+    read = read_manifest(content)
+    assert read.is_error() or read_routes(content).is_ok()
+
+
+# Guards against bytes that no one thought of, anywhere in a sound manifest.
+@given(st.integers(0, len(SOUND)), st.integers(0, 8), st.binary(max_size=12))
+def test_a_manifest_with_any_bytes_is_refused_or_gives_its_routes(at, length, data):
+    content = SOUND[:at] + data + SOUND[at + length :]
+    read = read_manifest(content)
+    assert read.is_error() or read_routes(content).is_ok()
