Take versions of a manifest that have more than 64 bits

Operators saw: a valid manifest whose version is the date, time and nanoseconds (23 digits) was never answered; each leader that took it ended and the next one after it.

Cause: msgpack has no number of more than 64 bits, so the entry of the log, and the feed's `document`, could not be encoded (OverflowError).

Versions of more than 38 digits are refused with 400. A program of an earlier version drops messages with such a number, as it did not know any.

Ruled out: text in the fields (the follower compares them as numbers), a second field for the high part (it changes the bytes of every poll).

--- a/libs/core/src/kumquatmux_core/codec.py
+++ b/libs/core/src/kumquatmux_core/codec.py
@@ -13,6 +13,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from kumquatmux_core.numbers import decode_extension, encode_numbers
 from kumquatmux_core.problems import Problem
 
 PROTOCOL_VERSION = 1
@@ -36,7 +37,10 @@
         """Encode a message as a header followed by a msgpack body."""
         kind = self.kinds[type(message)]
         header = bytes((PROTOCOL_VERSION, kind >> 8, kind & 0xFF))
-        return header + _encoder.encode(message)
+        try:
+            return header + _encoder.encode(message)
+        except OverflowError:
+            return header + encode_numbers(message)
 
     def decode(self, data: bytes) -> Result[Any, Problem]:
         """Decode a message, or return the problem that makes it invalid."""
@@ -70,7 +74,7 @@
 
 def _decode_body(message_type: Any, body: bytes) -> Result[Any, Problem]:
     try:
-        values = msgspec.msgpack.decode(body)
+        values = msgspec.msgpack.decode(body, ext_hook=decode_extension)
         if not isinstance(values, list):
             return Error(Problem("message-shape", "message body is not an array"))
         known_fields = values[: len(message_type._fields)]
--- a/tests/adapter/test_manifest.py
+++ b/tests/adapter/test_manifest.py
@@ -207,6 +207,8 @@
         put("nobody" * 100_000, "routes", 0, "backend"),
         put(10**400, "routes", 0, "timeout-ms"),
         put(10**400, "limits", "idle-timeout-ms"),
+        put(10**38, "version"),
+        put(10**4000, "version"),
     ],
 )
 def test_a_manifest_with_a_value_out_of_bounds_is_refused_briefly(change):
@@ -287,3 +289,11 @@
     content = SOUND[:at] + data + SOUND[at + length :]
     read = read_manifest(content)
     assert read.is_error() or read_routes(content).is_ok()
+
+
+# Guards against a valid version that is refused, or is another one in force.
+@pytest.mark.parametrize("version", [2**64, 20261204090000123456789, 10**38 - 1])
+def test_a_version_of_more_than_64_bits_is_valid(version):
+    content = changed(put(version, "version"))
+    assert read_manifest(content).ok.version == version
+    assert read_routes(content).ok.document_number == version
