Forget the claim of an address with the lifetime that made it

Callers saw: flows of a server that lives are reset. A server starts again under its id at another address; when a later server gets the first address, the table finds the id as the one that claimed it and ends the lifetime that runs now, until its next report. Claims were also never dropped, so that one id with a new `born` and address a report filled the memory.

A claim now goes when the record of its name moves to another address or is removed.

Before the change both new tests failed: {'i-1': ENDED} instead of READY, and 49 claims of one server. Ruled out: comparing the other record's address at the claim alone, as claims would still pile up. Found by reading; not shown on real processes.

--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -83,8 +83,18 @@
         for name, entry in list(self.held.items()):
             is_ended = entry.record.report.phase == Phase.ENDED
             if is_ended and entry.changed_at < before:
-                del self.held[name]
-                self.name_by_token.pop(entry.record.token, None)
+                self.remove(name)
+
+    def remove(self, name: str) -> None:
+        """Remove the record of a server name, with its token and claim."""
+        record = self.held.pop(name).record
+        self.name_by_token.pop(record.token, None)
+        self._drop_claim(record)
+
+    def _drop_claim(self, record: ServerRecord) -> None:
+        endpoint = record.report.endpoint
+        if self.name_by_endpoint.get(endpoint) == record.report.lifetime.name:
+            del self.name_by_endpoint[endpoint]
 
     def _store(self, record: ServerRecord, now: float) -> ServerRecord:
         report = record.report
@@ -95,6 +105,8 @@
             if previous is not None:
                 self.name_by_token.pop(previous.record.token, None)
             self.name_by_token[record.token] = name
+        if previous is not None and previous.record.report.endpoint != report.endpoint:
+            self._drop_claim(previous.record)
         self.held[name] = TableEntry(record, self.position, now)
         log_decision(
             "server-known",
--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -139,3 +139,23 @@
     table.merge(earlier, 0.0)
     table.merge(make_record(born=11), 1.0)
     assert table.find_token(earlier.token) is None
+
+
+# Guards against a server that is ended for an address that its earlier lifetime had.
+def test_an_address_of_an_earlier_lifetime_ends_no_later_one():
+    table = ServerTable()
+    table.merge(make_record(name="i-1", born=10, port=7), 0.0)
+    table.merge(make_record(name="i-1", born=20, port=8), 1.0)
+    table.merge(make_record(name="i-2", born=30, port=7), 2.0)
+    assert phases_by_name(table) == {"i-1": Phase.READY, "i-2": Phase.READY}
+
+
+# Guards against claims that pile up with each address that was ever reported.
+def test_claims_are_those_of_the_servers_that_are_known():
+    table = ServerTable()
+    for port in range(1, 50):
+        table.merge(make_record(born=port, port=port), 0.0)
+    assert list(table.name_by_endpoint) == [Endpoint("10.0.0.9", 49)]
+    table.merge(make_record(born=49, number=2, port=49, phase=Phase.ENDED), 1.0)
+    table.remove_ended(before=2.0)
+    assert table.name_by_endpoint == {}
