Count each copy of an opening packet once against its server

Cause: an opening packet's copy that waits for a slot is routed again every 20 ms, and each time it counted as another SYN packet that the server left unanswered. The avoidance time is 2 to the power of that count, which is too large for a float after 1,024: 20 s with one waiting flow, less with several.

Evidence: the two new tests failed before the change, with `assert 60 == 1` and `OverflowError: int too large to convert to float`.

Ruled out: an endless number of copies from callers. They send two, so that the count stayed small wherever no packet waited.

Change: a flow remembers the copy that counted last, and the power is bounded, so that a caller who numbers its copies freely can't reach it either. A server is now avoided for the time that its own silence asks for; before, one waiting flow drove it to the longest time at once.

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -16,6 +16,9 @@
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import PeerLoad, ServerLoad
 
+MAX_AVOIDANCE_DOUBLINGS = 16
+"""Doublings of the avoidance time that are computed; its upper limit comes sooner."""
+
 SEQUENCE_SPACE = 1 << 32
 HALF_SEQUENCE_SPACE = 1 << 31
 
@@ -28,6 +31,8 @@
         tried_tokens: Tokens of the servers that the flow's SYN packets were sent to.
         is_established: Whether the caller has sent a packet after its SYN.
         syn_forwarded_at: Time when the latest SYN packet was forwarded.
+        counted_copy: Number of the latest SYN retransmission that counted as evidence
+            against a server, 0 for none.
         last_packet_at: Time when the latest packet arrived.
         request_sent_at: Time of the latest SYN or new data of the request in progress,
             None if there is no request in progress.
@@ -41,6 +46,7 @@
 
     __slots__ = (
         "baseline_ack_number",
+        "counted_copy",
         "last_data_at",
         "request_sent_at",
         "next_sequence_number",
@@ -58,6 +64,7 @@
         self.tried_tokens: tuple[int, ...] = ()
         self.is_established = False
         self.syn_forwarded_at = now
+        self.counted_copy = 0
         self.last_packet_at = now
         self.request_sent_at: float | None = None
         self.last_data_at = now
@@ -167,17 +174,25 @@
         self.forwarded_syns.append((now, header.flow_key))
         return flow
 
-    def record_unanswered_syn(self, flow: Flow, now: float) -> bool:
+    def record_unanswered_syn(self, flow: Flow, copy: int, now: float) -> bool:
         """Record, when a SYN is retransmitted, that its server did not answer.
 
+        Args:
+            flow: The flow.
+            copy: Number of the retransmission. It is recorded once, however often the
+                waiting packet is routed again.
+            now: Current time in monotonic seconds.
+
         Returns:
-            False if the server has answered a caller since the SYN was forwarded, so
-            that nothing is recorded.
+            False if the retransmission is recorded already, or the server has answered
+            a caller since the SYN was forwarded, so that nothing is recorded.
         """
         load = self.local_load_at(flow.token)
-        if load.last_answer_at > flow.syn_forwarded_at:
+        if copy <= flow.counted_copy or load.last_answer_at > flow.syn_forwarded_at:
             return False
-        backoff_s = self.settings.server_avoidance_s * 2**load.unanswered_syns
+        flow.counted_copy = copy
+        doublings = min(load.unanswered_syns, MAX_AVOIDANCE_DOUBLINGS)
+        backoff_s = self.settings.server_avoidance_s * 2**doublings
         load.unanswered_syns += 1
         self.has_unreported_change = True
         load.avoided_until = now + min(backoff_s, self.settings.server_avoidance_max_s)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -209,7 +209,8 @@
             and header.retransmission_count
             and not is_too_soon
         ):
-            if self.load_tracker.record_unanswered_syn(flow, now):
+            copy = header.retransmission_count
+            if self.load_tracker.record_unanswered_syn(flow, copy, now):
                 self._log_unanswered_syn(header, flow.token)
         elif flow is not None and is_retransmission:
             entry = self.directory.by_token.get(flow.token)
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -488,3 +488,38 @@
     assert receivers == [coordinator]
     router.coordinators.set_entry_vms(("e1", "e2", "e3"))
     assert sorted(vm for vm, _ in router.due_load_reports(NOW_S + 1.0)) == ["e2", "e3"]
+
+
+def make_full_router():
+    """Return a router whose only server is full, one flow of which is unanswered."""
+    router = make_router(make_server_record("i-1"))
+    router.route_packet(make_syn(caller=0), NOW_S)
+    for caller in range(1, 8):
+        router.route_packet(make_syn(caller=caller), NOW_S)
+    return router
+
+
+# Guards against: OverflowError in record_unanswered_syn, which ended the process, when
+# one waiting copy was routed again every 20 ms and counted each time.
+def test_a_waiting_syn_copy_counts_once_as_unanswered_however_often_it_is_routed():
+    router = make_full_router()
+    copy = make_syn(caller=0, retransmission_count=1)
+    decisions = {
+        router.route_packet(copy, NOW_S + 0.2 + 0.02 * attempt) for attempt in range(60)
+    }
+    assert decisions == {HoldForServer("no-slot")}
+    (load,) = router.load_tracker.local_loads.values()
+    assert load.unanswered_syns == 1
+
+
+# Guards against: 2 to the power of the unanswered SYN packets, too large for a float.
+def test_any_number_of_unanswered_syns_avoids_a_server_for_the_longest_time_at_most():
+    router = make_full_router()
+    for count in range(1, 1200):
+        router.route_packet(
+            make_syn(caller=0, retransmission_count=count), NOW_S + 0.2 * count
+        )
+    (load,) = router.load_tracker.local_loads.values()
+    assert load.unanswered_syns == 1199
+    longest_s = router.settings.server_avoidance_max_s
+    assert load.avoided_until == pytest.approx(NOW_S + 0.2 * 1199 + longest_s)
