Forget load, services and servers that no longer count

A process that runs for weeks would reach its memory limit.

Cause: five lists were only shortened where something else happened to do it, or never: forwarded SYN packets (at a load report, which a zone with a single entry VM doesn't send), the share of follow-up requests (one for each address that packets with a known token name), pools and ready servers (one for each service name that a peer asks about), records of ended servers at entry VMs, and endpoints of ended servers in every table.

Entry VMs keep the record of an ended server for 240 s, twice as long as control VMs, so that an older record that comes late from one of them changes nothing. In a zone with a single entry VM the request of an unanswered SYN packet now stops counting after 0.25 s, as it does elsewhere.

Left as they are: `removed_at` (an open flow of a removed route has to be reset whenever its next packet comes) and servers that are late for good, which control VMs never end. Table.remove_ended is shared with control VMs.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -48,6 +48,13 @@
 """Seconds after the start from which a document that nobody confirms must do."""
 
 
+ENDED_RETENTION_S = 240.0
+"""Seconds for which the record of an ended server is kept, longer than at control VMs.
+
+Until then an older record that comes late from one of them changes nothing.
+"""
+
+
 class Datagram(NamedTuple):
     """A datagram of the packet port.
 
@@ -147,6 +154,7 @@
         if now >= self.sweep_at:
             self.sweep_at = now + POLL_S
             self.router.remove_expired(now)
+            self.table.remove_ended(now - ENDED_RETENTION_S)
             self._note_feed(now)
             self._note_zones(now)
         if now >= self.poll_at:
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -240,3 +240,18 @@
     asked = core.packet(b"data 7 99", 0.2)
     assert "c1" in {one.vm for one in asked}
     assert len({one.vm for one in asked}) == 4
+
+
+# Guards against: the records of all servers that ever ended, kept by each entry VM.
+def test_servers_that_ended_long_ago_are_forgotten(core):
+    for number in range(1, 50):
+        core.message("c1", answer(server(number)), 0.1)
+        ended = server(number, Phase.ENDED)
+        newer = ended._replace(report=ended.report._replace(number=2))
+        core.message("c1", answer(newer), 0.2)
+    core.message("c1", answer(server(50)), 0.2)
+    core.tick(200.0)
+    assert len(core.table.held) == 50
+    core.tick(300.0)
+    assert set(core.table.held) == {"i-50"}
+    assert len(core.router.directory.by_token) == 1
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -85,6 +85,9 @@
             if is_ended and entry.changed_at < before:
                 del self.held[name]
                 self.name_by_token.pop(entry.record.token, None)
+                endpoint = entry.record.report.endpoint
+                if self.name_by_endpoint.get(endpoint) == name:
+                    del self.name_by_endpoint[endpoint]
 
     def _store(self, record: ServerRecord, now: float) -> ServerRecord:
         report = record.report
--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -139,3 +139,17 @@
     table.merge(earlier, 0.0)
     table.merge(make_record(born=11), 1.0)
     assert table.find_token(earlier.token) is None
+
+
+# Guards against: the endpoint of each server that ever ended, kept for good.
+def test_ended_servers_leave_no_trace_once_they_are_removed():
+    table = ServerTable()
+    for port in range(1, 100):
+        table.merge(make_record(name=f"i-{port}", port=port, phase=Phase.READY), 0.0)
+        ended = make_record(name=f"i-{port}", port=port, number=2, phase=Phase.ENDED)
+        table.merge(ended, 1.0)
+    table.merge(make_record(name="i-a", port=7), 2.0)
+    table.remove_ended(3.0)
+    assert set(table.held) == {"i-a"}
+    assert set(table.name_by_token.values()) == {"i-a"}
+    assert set(table.name_by_endpoint.values()) == {"i-a"}
--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -41,6 +41,9 @@
     remote: Sequence[ServerEntry]
 
 
+NO_READY_SERVERS = ReadyServers((), ())
+
+
 class ServerDirectory:
     """Server lifetimes indexed by token, server name and service.
 
@@ -86,11 +89,13 @@
 
     def ready_servers(self, service: ServiceName) -> ReadyServers:
         """Return the servers of a service that accept new flows."""
+        if service not in self.by_service:
+            return NO_READY_SERVERS
         ready = self.ready_by_service.get(service)
         if ready is None:
             entries = [
                 entry
-                for token, entry in self.by_service.get(service, {}).items()
+                for token, entry in self.by_service[service].items()
                 if entry.record.report.phase == Phase.READY
                 and token not in self.colliding_tokens
             ]
@@ -133,3 +138,5 @@
             service_entries[token] = entry
         else:
             service_entries.pop(token, None)
+            if not service_entries:
+                del self.by_service[entry.record.report.service]
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import deque
+from collections.abc import Container
 
 from kumquatmux_core.identity import ZoneName
 from kumquatmux_core.latencies import Latencies
@@ -284,6 +285,7 @@
     def remove_expired(self, now: float) -> None:
         """Remove flows, requests and servers that have been idle for too long."""
         self.peer_load.remove_expired(now)
+        self.expire_syn_requests(now)
         idle_limit = now - self.settings.flow_idle_timeout_s
         request_limit = now - self.settings.request_timeout_s
         for flow_key, flow in list(self.flows.items()):
@@ -299,6 +301,12 @@
             if is_unused and load.last_answer_at < idle_limit:
                 del self.local_loads[token]
 
+    def keep_shares_of(self, route_addresses: Container[bytes]) -> None:
+        """Forget the share of follow-up requests of all other routes."""
+        for address in list(self.follow_up_share):
+            if address not in route_addresses:
+                del self.follow_up_share[address]
+
     def reportable_loads(self, now: float) -> list[ServerLoad]:
         """Return the load to report to the other VMs of the zone."""
         self.expire_syn_requests(now)
--- a/libs/tokens/src/kumquatmux_tokens/pools.py
+++ b/libs/tokens/src/kumquatmux_tokens/pools.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from kumquatmux_core.identity import ServiceName
-from kumquatmux_tokens.directory import ReadyServers, ServerDirectory, ServerEntry
+from kumquatmux_tokens.directory import (
+    NO_READY_SERVERS,
+    ReadyServers,
+    ServerDirectory,
+    ServerEntry,
+)
 from kumquatmux_tokens.load import LoadTracker
 
 
@@ -50,6 +55,9 @@
         """Return the pool of a service."""
         self.apply_load_changes()
         ready = self.directory.ready_servers(service)
+        if ready is NO_READY_SERVERS:
+            self.by_service.pop(service, None)
+            return ServerPool(ready, self.load_tracker)
         pool = self.by_service.get(service)
         if pool is None or pool.ready is not ready:
             pool = self.by_service[service] = ServerPool(ready, self.load_tracker)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -187,6 +187,7 @@
     def remove_expired(self, now: float) -> None:
         """Remove expired flows, servers, buffered packets and placement requests."""
         self.load_tracker.remove_expired(now)
+        self.load_tracker.keep_shares_of(self.route_table.routes)
         self.pools.apply_load_changes()
         self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
         self.token_buffer.remove_expired(now)
--- a/libs/tokens/tests/test_pools.py
+++ b/libs/tokens/tests/test_pools.py
@@ -123,3 +123,27 @@
     looked_at_all = fill()
     assert min(sampled) >= min(looked_at_all) - 1
     assert max(sampled) <= max(looked_at_all) + 1
+
+
+# Guards against: a pool and a cached list for each service name that a peer asks about.
+def test_services_without_servers_leave_nothing_behind():
+    zone = Zone(2)
+    for number in range(200):
+        assert not zone.pools.pool(f"other-{number}").ready.local
+    zone.pools.pool("entries")
+    assert set(zone.pools.by_service) == {"entries"}
+    assert set(zone.directory.ready_by_service) == {"entries"}
+
+
+# Guards against: a set of servers kept for each service whose servers have all ended.
+def test_a_service_whose_servers_have_ended_is_forgotten():
+    zone = Zone(2)
+    zone.pools.pool("entries")
+    for number in range(2):
+        ended = make_record(number, phase=Phase.ENDED, report_number=2)
+        zone.directory.store_record(ended, 1.0)
+    assert zone.pools.pool("entries").ready.local == ()
+    assert zone.directory.by_service == {}
+    assert zone.pools.by_service == {}
+    zone.directory.store_record(make_record(5), 2.0)
+    assert len(zone.pools.pool("entries").ready.local) == 1
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -523,3 +523,30 @@
     assert load.unanswered_syns == 1199
     longest_s = router.settings.server_avoidance_max_s
     assert load.avoided_until == pytest.approx(NOW_S + 0.2 * 1199 + longest_s)
+
+
+# Guards against: forwarded_syns without a bound in a zone with a single entry VM, which
+# reports no load and so never shortened it.
+def test_forwarded_syns_are_forgotten_without_any_load_report():
+    router = make_router(make_server_record("i-1", slots=1000))
+    for caller in range(500):
+        now = NOW_S + 0.01 * caller
+        router.route_packet(make_syn(caller=caller), now)
+        if caller % 50 == 0:
+            router.remove_expired(now)
+    assert len(router.load_tracker.forwarded_syns) < 100
+
+
+# Guards against: an entry for each address that packets name, for the process's life.
+def test_shares_of_follow_up_requests_are_kept_for_known_routes_only():
+    record = make_server_record("i-1")
+    router = make_router(record)
+    addresses = [bytes([10, 0, 0, 1, 0, port]) for port in range(100)]
+    for address in (ROUTE_ADDRESS, *addresses):
+        for sequence in (101, 110):
+            packet = make_data_packet(
+                record.token, route_address=address, sequence=sequence
+            )
+            router.route_packet(packet, NOW_S)
+    router.remove_expired(NOW_S + 0.5)
+    assert set(router.load_tracker.follow_up_share) <= {ROUTE_ADDRESS}
