Keep the routes in force while a newer document cannot be read

A document that unpacks but cannot be read hid all later ones with lower numbers.

Change: an entry VM reads a document first, and takes it only if it can. It then asks that control VM again after 5 s, not at once, so that a large one isn't sent twice a second; others may deliver it meanwhile. A follower knows 256 control VMs and its seeds at most, and a poll of one that is not known begins anew.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -28,6 +28,7 @@
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
+from kumquatmux_tokens.routes import RouteSet
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import BufferedPacket
 from kumquatmux_tokens.work import LoadShare
@@ -269,13 +270,14 @@
 
     @_handle_message.register
     def _(self, message: FeedAnswer, now: float) -> list[Effect]:
-        former = self.follower.document.number
-        self.follower.take(message, now)
+        routes = self._read_document(message, now)
+        taken = message if routes is not None else message._replace(content=b"")
+        self.follower.take(taken, now)
         self.router.coordinators.set_entry_vms(self.follower.peers)
-        if self.follower.document.number > former:
-            self._install(now)
+        if routes is not None:
+            self.router.install_routes(routes, now)
         effects = self._merge(message.records, now)
-        if message.records or self.follower.document.number > former:
+        if message.records or routes is not None:
             effects += self._try_waiting(now)
         poll = self.follower.poll_after(message, now)
         if poll is not None:
@@ -313,12 +315,20 @@
     def _(self, message: TokenAnswer, now: float) -> list[Effect]:
         return self._merge((message.record,), now)
 
-    def _install(self, now: float) -> None:
-        routes = self.format.read_routes(self.follower.document.content)
-        if routes.is_error():
-            log_decision("document-unread", problem=routes.error)
-            return
-        self.router.install_routes(routes.ok, now)
+    def _read_document(self, answer: FeedAnswer, now: float) -> RouteSet | None:
+        """Return the routes of a newer document, None if there is none to read.
+
+        The routes in force stay while a document cannot be read.
+        """
+        if not answer.content or answer.document <= self.follower.document.number:
+            return None
+        routes = self.format.read_routes(answer.content)
+        if routes.is_ok():
+            return routes.ok
+        log_decision("document-unread", problem=routes.error)
+        self.counts["documents.unread"] += 1
+        self.follower.postpone_document(answer.sender, answer.document, now)
+        return None
 
     def _merge(self, records: tuple[ServerRecord, ...], now: float) -> list[Effect]:
         effects: list[Effect] = []
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -4,9 +4,10 @@
 from random import Random
 
 import pytest
-from expression import Ok
+from expression import Error, Ok
 
 from kumquatmux_core.identity import Address, Endpoint
+from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.token_entry.core import RETRY_S, Datagram, EntryCore, Sent
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
@@ -55,6 +56,8 @@
         return "100.64.0.1"
 
     def read_routes(self, content):
+        if content == b"damaged":
+            return Error(Problem("manifest-unread", "damaged"))
         route = Route("r", ROUTE, (WeightedService("entries", 1),))
         return Ok(RouteSet(int(content), (route,), frozenset({"entries"}), 15.0))
 
@@ -255,3 +258,32 @@
     core.tick(300.0)
     assert set(core.table.held) == {"i-50"}
     assert len(core.router.directory.by_token) == 1
+
+
+def polls(effects):
+    return [one.message for one in effects if isinstance(one, Sent)]
+
+
+# Guards against: a document that cannot be read under a high number, which hid all
+# later ones, as its number counted as known for good.
+def test_an_unreadable_document_leaves_the_routes_and_later_documents_alone(core):
+    core.message("c1", answer(server(1), document=3, content=b"3"), 0.1)
+    core.message("c1", answer(document=9, content=b"damaged"), 0.2)
+    assert core.router.route_table.document_number == 3
+    core.message("c1", answer(document=4, content=b"4"), 0.3)
+    assert core.router.route_table.document_number == 4
+    assert core.counts["documents.unread"] == 1
+
+
+# Guards against: a large document that is sent again every half second although it
+# cannot be read.
+def test_an_unreadable_document_is_asked_for_again_after_a_while_only(core):
+    core.message("c1", answer(document=3, content=b"3"), 0.1)
+    asked = core.message("c1", answer(document=9, content=b"damaged"), 0.2)
+    asked += core.message("c1", answer(document=9), 0.6)
+    asked += core.tick(1.0)
+    assert {poll.document for poll in polls(asked)} == {9}
+    later = core.tick(6.0)
+    assert {poll.document for poll in polls(later)} == {3}
+    core.message("c1", answer(document=9, content=b"9"), 6.1)
+    assert core.router.route_table.document_number == 9
--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -27,6 +27,9 @@
             control VMs.
         page_size: Number of records in a full answer; a full answer triggers another
             poll at once.
+        max_sources: Maximum number of known control VMs beside the seeds.
+        unread_document_retry_s: Seconds for which a control VM is not asked again for a
+            document that could not be read.
         min_document_poll_interval_s: Minimum seconds between extra polls of one control
             VM for a document whose number it announced without the content.
     """
@@ -39,6 +42,8 @@
     source_retention_s: float = 20.0
     max_other_zones: int = 3
     page_size: int = 64
+    max_sources: int = 256
+    unread_document_retry_s: float = 5.0
     min_document_poll_interval_s: float = 0.3
 
 
@@ -52,6 +57,9 @@
         document: Number of the newest settings document that it announced.
         heard_at: Time of its latest answer, in seconds of the monotonic clock.
         is_current: Whether its latest answer said that its replica was up to date.
+        unread_document: Number of the latest document from it that could not be read.
+        unread_until: Time from which that document is asked for again, in seconds of
+            the monotonic clock.
         document_polled_at: Time of the latest extra poll for a document that it
             announced, in seconds of the monotonic clock.
         members: Digest of the lists of VMs that it sent, 0 for none.
@@ -65,6 +73,8 @@
         self.document = 0
         self.heard_at = -math.inf
         self.is_current = False
+        self.unread_document = 0
+        self.unread_until = -math.inf
         self.document_polled_at = -math.inf
         self.members = 0
         self.entries: tuple[VmId, ...] = ()
@@ -96,8 +106,12 @@
             self.add(vm)
 
     def add(self, vm: VmId) -> None:
-        """Add a control VM to the known ones, unless it is this VM."""
-        if vm != self.settings.vm:
+        """Add a control VM to the known ones, unless it is this VM.
+
+        A VM beyond ``max_sources`` is left out, unless it is a seed.
+        """
+        has_room = len(self.sources) < self.settings.max_sources
+        if vm != self.settings.vm and (has_room or vm in self.settings.seeds):
             self.sources.setdefault(vm, SourceState())
 
     def polls(self, now: float) -> list[tuple[VmId, FeedPoll]]:
@@ -142,7 +156,10 @@
 
     def take(self, answer: FeedAnswer, now: float) -> None:
         """Process everything in an answer except its records."""
-        source = self.sources.setdefault(answer.sender, SourceState())
+        self.add(answer.sender)
+        source = self.sources.get(answer.sender)
+        if source is None:
+            return
         if source.heard_at == -math.inf:
             log_decision("feed-regained", source=answer.sender)
         if source.incarnation != answer.incarnation:
@@ -178,8 +195,8 @@
         poll = self.poll_of(answer.sender, now)
         if self.has_more(answer):
             return poll if poll.wants_push else None
-        source = self.sources[answer.sender]
-        is_behind = answer.document > self.document.number
+        source = self._state_of(answer.sender)
+        is_behind = answer.document > self._known_document(source, now)
         was_polled_recently = (
             now - source.document_polled_at < self.settings.min_document_poll_interval_s
         )
@@ -192,6 +209,22 @@
         """Return a poll for one control VM."""
         return self._build_poll(vm, self.primary(now), now)
 
+    def postpone_document(self, vm: VmId, number: int, now: float) -> None:
+        """Do not ask a control VM at once again for a document that was unreadable."""
+        source = self._state_of(vm)
+        source.unread_document = number
+        source.unread_until = now + self.settings.unread_document_retry_s
+
+    def _state_of(self, vm: VmId) -> SourceState:
+        """Return the state of a control VM, that of a new one if it is not known."""
+        return self.sources.get(vm) or SourceState()
+
+    def _known_document(self, source: SourceState, now: float) -> int:
+        """Return the number up to which a control VM need not send a document."""
+        is_postponed = now < source.unread_until
+        unread = source.unread_document if is_postponed else 0
+        return max(self.document.number, unread)
+
     def _store_document(self, answer: FeedAnswer) -> None:
         if answer.content and answer.document > self.document.number:
             previous_number = self.document.number
@@ -204,16 +237,17 @@
             )
 
     def _build_poll(self, vm: VmId, primary: VmId | None, now: float) -> FeedPoll:
-        source = self.sources[vm]
+        source = self._state_of(vm)
         own_settings = self.settings
-        is_behind = source.document > self.document.number
+        known_document = self._known_document(source, now)
+        is_behind = source.document > known_document
         return FeedPoll(
             own_settings.vm,
             own_settings.zone,
             own_settings.is_control,
             source.incarnation,
             source.position,
-            self.document.number,
+            known_document,
             own_settings.is_control or vm == primary or is_behind or primary is None,
             self.is_stopping,
             source.members,
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -292,3 +292,20 @@
     assert "c2" in mine.sources
     poll_publisher(mine, second, 21.5)
     assert mine.sources["c2"].heard_at == 21.5
+
+
+# Guards against: a list of control VMs that grows with every name that is told.
+def test_the_control_vms_that_are_known_are_bounded():
+    mine = make_follower(seeds=("c1",))
+    limit = mine.settings.max_sources
+    source = make_publisher()
+    answer = source.answer(mine.poll_of("c1", 0.0), 0.0)
+    names = tuple(f"c{number}" for number in range(2, 3 * limit))
+    mine.take(answer._replace(control=names), 0.1)
+    assert len(mine.sources) == limit
+    unknown = answer._replace(sender="c-new", position=5)
+    mine.take(unknown, 0.2)
+    assert "c-new" not in mine.sources
+    assert mine.poll_after(unknown._replace(document=1), 0.2).position == 0
+    mine.set_seeds(("s1", "s2"))
+    assert {"s1", "s2"} <= set(mine.sources)
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -110,13 +110,20 @@
     call = CALLS.read_call(put("/v1/config", body)).ok
     assert isinstance(call, PutDocument)
     assert call.number == 7
-    assert unpack(call.content) == body
+    assert unpack(call.content).ok == body
     answer = CALLS.write_answer(
         HttpCall("GET", "/v1/config", b""), Answer(Outcome.DONE, content=call.content)
     )
     assert (answer.status, answer.body) == (200, body)
 
 
+# Guards against: zlib.error, or an empty manifest, for a document that is damaged.
+def test_a_stored_document_that_cannot_be_unpacked_is_not_shown():
+    call = HttpCall("GET", "/v1/config", b"")
+    answer = CALLS.write_answer(call, Answer(Outcome.DONE, content=b"damaged"))
+    assert (answer.status, answer.retry_after_s) == (503, 1)
+
+
 def test_an_invalid_manifest_is_refused_with_its_reason():
     read = CALLS.read_call(put("/v1/config", {**MANIFEST, "backends": []}))
     answer = CALLS.write_answer(
@@ -170,4 +177,4 @@
 
 @given(st.binary(max_size=300))
 def test_what_is_packed_comes_back(content):
-    assert unpack(pack(content)) == content
+    assert unpack(pack(content)).ok == content
