--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -159,3 +159,17 @@
     table.merge(make_record(born=49, number=2, port=49, phase=Phase.ENDED), 1.0)
     table.remove_ended(before=2.0)
     assert table.name_by_endpoint == {}
+
+
+# Guards against: the endpoint of each server that ever ended, kept for good.
+def test_ended_servers_leave_no_trace_once_they_are_removed():
+    table = ServerTable()
+    for port in range(1, 100):
+        table.merge(make_record(name=f"i-{port}", port=port, phase=Phase.READY), 0.0)
+        ended = make_record(name=f"i-{port}", port=port, number=2, phase=Phase.ENDED)
+        table.merge(ended, 1.0)
+    table.merge(make_record(name="i-a", port=7), 2.0)
+    table.remove_ended(3.0)
+    assert set(table.held) == {"i-a"}
+    assert set(table.name_by_token.values()) == {"i-a"}
+    assert set(table.name_by_endpoint.values()) == {"i-a"}
