Let any majority of the seeds found the cluster

Seen by callers: the lowest seed's first process ended within 0.3 s of its start (it was killed; any end at a start would do) and was started again with bootstrap false: every order got 503 no-leader for as long as it was sent (25 s). The same when its disk was lost before others had joined. With any seed lost for good at its start, the first order wasn't accepted either.

Cause: only the lowest seed was allowed to found, only in a process that was told so, and the first order waited for three voters that had joined.

Change: all seeds that are told to found make the same first configuration, in which each of them votes, without a message: their folders share one name made of the seeds' names. A majority elects. A seed without its first folder joins under a random name, as any VM that lost its disk. A leader's first order waits until enough voters hold an entry of it, for 4 s at most, as a seed that never came has no copy. At most five seeds found.

Why it is safe: elections and steps of membership are those of a running cluster; a voter of the first configuration exists once, as a wiped VM is told not to found. Weighed and not taken: another seed that founds on the others' requests for admission (unsafe with more control VMs than seeds, docs/design/agreement.md), single votes (split, or spent on a founder that is lost), the operator. Price: with two seeds of three ended before they made their folders nobody founds; before, the lowest seed alone was enough.

Ruled out: timers and lost join requests; all three VMs asked for admission every 0.4 s and no leader was there to hear them.

--- a/libs/agreement/src/kumquatmux_agreement/entries.py
+++ b/libs/agreement/src/kumquatmux_agreement/entries.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import hashlib
 from enum import IntEnum
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
 
+FOUNDING_FOLDER_BYTES = 8
+"""Length of the folder name that founding replicas share, in bytes."""
+
+MAX_FOUNDING_VMS = 5
+"""Most VMs that found a cluster together, as each of them votes."""
+
 
 class ReplicaId(NamedTuple):
     """Identity of a replica: one data folder on one VM.
@@ -16,7 +23,8 @@
 
     Attributes:
         vm: VM that has the folder.
-        folder: Random identifier assigned when the folder was created.
+        folder: Random identifier assigned when the folder was created, or the one that
+            all replicas of a cluster founded together share.
     """
 
     vm: VmId
@@ -34,8 +42,8 @@
         wanted_vms: Control VMs that should have a voter: 1, 3 or 5.
         voters: Replicas that vote and whose persisted entries count for a quorum.
         learners: Replicas that receive the log but do not count for a quorum yet.
-        origin: Folder of the cluster's founding replica. It tells clusters that were
-            founded under the same name at different times apart.
+        origin: Folder of the cluster's founding replicas. It tells clusters that were
+            founded by different replicas under the same name apart.
     """
 
     wanted_vms: tuple[VmId, ...]
@@ -147,6 +155,38 @@
     return DurableState(VoteRecord(), Snapshot(0, 0, configuration, b""))
 
 
+def founding_vms(seeds: tuple[VmId, ...]) -> tuple[VmId, ...]:
+    """Return which of the seeds found a cluster, the same for any order of them."""
+    return tuple(sorted(set(seeds)))[:MAX_FOUNDING_VMS]
+
+
+def founding_folder(vms: tuple[VmId, ...]) -> str:
+    """Return the folder name of the replicas with which VMs found a cluster together.
+
+    Args:
+        vms: All founding VMs, as from ``founding_vms``.
+    """
+    names = "\n".join(vms).encode()
+    return hashlib.blake2b(names, digest_size=FOUNDING_FOLDER_BYTES).hexdigest()
+
+
+def shared_founding_state(vms: tuple[VmId, ...]) -> DurableState:
+    """Return the initial state of each replica of a cluster that VMs found together.
+
+    Every founding VM votes from the start, so that any majority of them founds the
+    cluster, and no two majorities found two. A VM may use this state only until it
+    loses its first folder: after that its voter would have forgotten its vote.
+
+    Args:
+        vms: All founding VMs, as from ``founding_vms``; each has the folder
+            ``founding_folder``.
+    """
+    origin = founding_folder(vms)
+    voters = tuple(ReplicaId(vm, origin) for vm in vms)
+    configuration = Configuration(vms, voters, (), origin)
+    return DurableState(VoteRecord(), Snapshot(0, 0, configuration, b""))
+
+
 def joining_state() -> DurableState:
     """Return the initial state of a replica that waits to join a cluster."""
     return DurableState(VoteRecord(), Snapshot(0, 0, Configuration((), ()), b""))
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -103,6 +103,19 @@
         )
         return core.leader is not None and is_fresh
 
+    def answering_voters(self) -> int:
+        """Return how many voters hold an entry of this leader, itself included."""
+        core = self.replica.core
+        if core.leader_state is None:
+            return 0
+        started_at = core.leader_state.term_start_index
+        progress = core.leader_state.progress
+        held = [
+            progress[voter].match_index if voter in progress else core.persisted_index
+            for voter in core.log.configuration.voters
+        ]
+        return sum(index >= started_at for index in held)
+
     def set_peers(self, vms: tuple[VmId, ...]) -> None:
         """Name the VMs that are asked for admission."""
         core = self.replica.core
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -66,6 +66,9 @@
 GONE_S = 2.0
 """Seconds without a word after which a voter's seat may go to a VM that is there."""
 
+SEATING_S = 4.0
+"""Seconds that a leader's first order waits for voters that have not answered it."""
+
 LATE_REPORTS = 2.5
 """Reports a backend server may miss before it is late, beside its time to move on."""
 
@@ -251,7 +254,7 @@
             self._answer(token, Answer(Outcome.DONE))
         elif not self.agreed.is_leader or self.is_stopping:
             self._elsewhere(token)
-        elif not newest.number and not self._is_seated():
+        elif not newest.number and not self._is_seated(now):
             self._unavailable(token, "too-few-voters")
         else:
             entry = entry_of(NumberedDocument(call.number, call.content))
@@ -345,9 +348,18 @@
             self.saved_position = table.position
             self.saved.save([held.record for held in table.held.values()])
 
-    def _is_seated(self) -> bool:
+    def _is_seated(self, now: float) -> bool:
+        """Return whether enough control VMs vote for the first order.
+
+        A voter that was never heard of may have no disk, so that another loss would be
+        one too many. It is waited for, but not for good.
+        """
         configuration = self.agreed.replica.core.log.configuration
-        return len(configuration.voters) >= required_voter_count(self.settings.losses)
+        required = required_voter_count(self.settings.losses)
+        if len(configuration.voters) < required:
+            return False
+        led_s = now - self.leads_since if self.leads_since is not None else 0.0
+        return led_s >= SEATING_S or self.agreed.answering_voters() >= required
 
     def _look_at_seats(self, now: float) -> None:
         if not self.agreed.is_leader:
--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -10,7 +10,13 @@
 import trio
 from expression import Error, Ok, Result
 
-from kumquatmux_agreement.entries import ReplicaId, founding_state, joining_state
+from kumquatmux_agreement.entries import (
+    ReplicaId,
+    founding_folder,
+    founding_vms,
+    joining_state,
+    shared_founding_state,
+)
 from kumquatmux_agreement.messages import MESSAGE_TYPES as REPLICA_MESSAGES
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.codec import registry
@@ -154,8 +160,9 @@
     folder = secrets.token_hex(FOLDER_NAME_BYTES)
     first = joining_state()
     if settings.founds:
-        founder = ReplicaId(settings.vm, folder)
-        first = founding_state(founder, tuple(sorted(settings.seeds)))
+        founders = founding_vms(settings.seeds)
+        folder = founding_folder(founders)
+        first = shared_founding_state(founders)
     identity = Identity(CLUSTER, settings.vm, folder)
     opened = open_or_create(disk.ok, identity, first)
     if opened.is_error():
--- a/libs/daemons/src/kumquatmux_daemons/registrar/settings.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/settings.py
@@ -18,7 +18,8 @@
         calls: TCP endpoint for calls of operators and backend servers; likewise.
         metrics: TCP endpoint on which metrics are read.
         seeds: Control VMs to begin with.
-        founds: Whether it founds the cluster if its folder is empty.
+        founds: Whether it founds the cluster with the other seeds if its folder is
+            empty.
         folder: Its data folder.
         losses: Disks that may be lost at once.
         report_period_s: Seconds between reports of a backend server.
