Bound each record of a server, and read saved records one by one

Callers saw: after 16 liveness reports with a name of 0.9 MB and a restart of all programs no request was served and no leader elected. Other operators saw machines end, or stop following, after one odd entry among the servers.

Cause: a page of the feed was bounded by its number of records only, so that long names made it longer than a message may be; and one record in the file of servers that was not as this version writes it hid all others.

`problem_of` bounds each text, number and port of a record. A report beyond is refused, a record of another VM or of an older file is left out with a line; so a page of 64 records is below 80 KB. The file of servers is read record by record, what cannot be read is left out. Recorded files and messages keep their bytes.

Ruled out: pages cut by bytes, as a follower takes a page that is not full for the last one and waits for its next poll.

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_core.problems import Problem
-from kumquatmux_registry.records import Phase, Report, ServerRecord
+from kumquatmux_registry.records import Phase, Report, ServerRecord, problem_of
 from kumquatmux_registry.settings import RegistrySettings
 from kumquatmux_registry.table import ServerTable, mark_ended
 
@@ -77,8 +77,13 @@
     def merge(self, record: ServerRecord, now: float) -> bool:
         """Merge a record from another control VM; return whether to push an update.
 
-        A suspicion about a server that reports to this VM is refuted.
+        A suspicion about a server that reports to this VM is refuted. A record out of
+        bounds is left out, as it could not be told on.
         """
+        problem = problem_of(record)
+        if problem:
+            log_decision("servers-unread", problem=problem, holder=record.holder[:64])
+            return False
         changed = bool(self.table.merge(record, now))
         if record.is_late and self._can_refute(record, now):
             self.table.republish(record.report.lifetime.name, now)
--- a/libs/registry/src/kumquatmux_registry/records.py
+++ b/libs/registry/src/kumquatmux_registry/records.py
@@ -9,6 +9,16 @@
 
 from kumquatmux_core.identity import Endpoint, ServiceName, VmId, ZoneName
 
+TEXT_BYTES = 255
+"""Longest name, service, zone, version or holder in a record."""
+
+LARGEST_COUNT = 2**53 - 1
+"""Largest time of birth, report number or count of doubts."""
+
+LARGEST_SLOTS = 1_000_000
+LONGEST_WARM_UP_S = 86_400.0
+PORT_LIMIT = 65_536
+
 
 class Phase(IntEnum):
     """Lifecycle phase of a backend server."""
@@ -104,3 +114,37 @@
     def token(self) -> int:
         """Token of the server lifetime."""
         return self.report.lifetime.token
+
+
+def problem_of(record: ServerRecord) -> str:
+    """Return why a record cannot be stored, sent and logged, empty if it can.
+
+    Bounds each record, so that a page of the feed and the file of servers are bounded.
+    """
+    report = record.report
+    lifetime = report.lifetime
+    texts = (
+        lifetime.name,
+        report.service,
+        report.zone,
+        report.version,
+        report.endpoint.ip,
+        record.holder,
+    )
+    counts = (lifetime.born_ms, report.number, record.doubts)
+    if not all(_is_short(text) for text in texts):
+        return "a text is too long, or cannot be printed"
+    if not all(0 <= count <= LARGEST_COUNT for count in counts):
+        return "a number is out of range"
+    if not 0 < report.slots <= LARGEST_SLOTS:
+        return "the number of slots is out of range"
+    if not 0 <= report.warm_up_s <= LONGEST_WARM_UP_S:
+        return "the warm-up is out of range"
+    if not 0 < report.endpoint.port < PORT_LIMIT:
+        return "the port is out of range"
+    return ""
+
+
+def _is_short(text: str) -> bool:
+    is_short = len(text) <= TEXT_BYTES and text.isprintable()
+    return is_short and len(text.encode()) <= TEXT_BYTES
--- a/libs/registry/src/kumquatmux_registry/saved.py
+++ b/libs/registry/src/kumquatmux_registry/saved.py
@@ -18,6 +18,7 @@
 FILE_NAME = "servers"
 TEMPORARY_FILE_NAME = "servers.tmp"
 CHECKSUM_BYTES = 8
+DETAIL_CHARACTERS = 200
 
 
 class FileStorage(Protocol):
@@ -51,17 +52,34 @@
 def decode(data: bytes) -> Result[list[ServerRecord], Problem]:
     """Decode the records from the content of a file.
 
+    A record that another version wrote in another format is left out; the others
+    hold.
+
     Errors:
         ``file-damaged`` if the checksum does not match, as after a truncated or torn
-        write, or if another version wrote the records in another format.
+        write, or if the content is no list.
     """
     body = data[CHECKSUM_BYTES:]
     if xxhash.xxh3_64_digest(body) != data[:CHECKSUM_BYTES]:
         return Error(Problem("file-damaged", "checksum does not match", FILE_NAME))
     try:
-        return Ok(msgspec.msgpack.decode(body, type=list[ServerRecord]))
+        values = msgspec.msgpack.decode(body, type=list[msgspec.Raw])
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         return Error(Problem("file-damaged", str(error), FILE_NAME))
+    except RecursionError:
+        return Error(Problem("file-damaged", "nested too deep", FILE_NAME))
+    records = (_decode_record(value) for value in values)
+    return Ok([record for record in records if record is not None])
+
+
+def _decode_record(value: msgspec.Raw) -> ServerRecord | None:
+    try:
+        return msgspec.msgpack.decode(value, type=ServerRecord)
+    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
+        detail = str(error)[:DETAIL_CHARACTERS]
+        problem = Problem("file-damaged", detail, FILE_NAME)
+        log_decision("servers-unread", problem=problem)
+        return None
 
 
 class SavedServers:
--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -110,3 +110,31 @@
     doubted = leases.table.get("i-1").with_suspicion_toggled()
     leases.report(make_report(2), 1.0)
     assert leases.merge(doubted, 6.0) is False
+
+
+OUT_OF_BOUNDS = {
+    "long service": make_report(service="x" * 900_000),
+    "service of 3 bytes a character": make_report(service="\u0e01" * 100),
+    "long zone": make_report(zone="x" * 256),
+    "half a character": make_report(version="\ud800"),
+    "NUL": make_report(version="a\0"),
+    "number": make_report(2**63),
+    "number below 0": make_report(-1),
+    "born": make_report(born=2**64),
+    "slots": make_report(slots=2**62),
+    "no slots": make_report(slots=0),
+    "warm-up": make_report(warm_up_s=float("inf")),
+    "warm-up is no number": make_report(warm_up_s=float("nan")),
+    "port": make_report(endpoint=Endpoint("10.0.0.9", 2**40)),
+    "port 0": make_report(endpoint=Endpoint("10.0.0.9", 0)),
+    "long address": make_report(endpoint=Endpoint("1" * 5000, 80)),
+}
+
+
+# Guards against a record of another VM or of an old file that is told on to all others.
+@pytest.mark.parametrize("report", OUT_OF_BOUNDS.values(), ids=OUT_OF_BOUNDS.keys())
+def test_a_record_out_of_bounds_is_left_out(leases, report):
+    assert leases.merge(ServerRecord(report, "c2"), 0.0) is False
+    assert leases.merge(ServerRecord(make_report(), "c2" * 1000), 0.0) is False
+    assert leases.merge(ServerRecord(make_report(), "c2", 2**64), 0.0) is False
+    assert leases.table.held == {}
--- a/libs/registry/tests/test_publisher.py
+++ b/libs/registry/tests/test_publisher.py
@@ -3,10 +3,20 @@
 import pytest
 
 from kumquatmux_core.codec import registry
+from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.feed import MESSAGE_TYPES
 from kumquatmux_registry.follower import Follower, FollowerSettings
 from kumquatmux_registry.leases import Leases
 from kumquatmux_registry.publisher import Document, Publisher, PublisherSettings
+from kumquatmux_registry.records import (
+    LARGEST_COUNT,
+    LARGEST_SLOTS,
+    TEXT_BYTES,
+    Lifetime,
+    Phase,
+    Report,
+    ServerRecord,
+)
 from kumquatmux_registry.settings import RegistrySettings
 
 CODEC = registry(MESSAGE_TYPES)
@@ -37,3 +47,31 @@
     poll(publisher, follower, 1.0)
     assert follower.document == Document(number, b"content")
     assert poll(publisher, follower, 2.0).content == b""
+
+
+PAGE_BYTES = 80_000
+
+
+# Guards against a page of the feed that is longer than a message may be.
+def test_a_page_of_the_longest_records_is_short():
+    publisher, follower = feed()
+    text = "x" * TEXT_BYTES
+    for number in range(200):
+        name = f"{number:03}".rjust(TEXT_BYTES, "x")
+        place = Endpoint("255.255.255.254", number + 1)
+        lifetime = Lifetime(name, LARGEST_COUNT)
+        report = Report(
+            lifetime,
+            LARGEST_COUNT,
+            text,
+            place,
+            text,
+            text,
+            LARGEST_SLOTS,
+            Phase.READY,
+            0.1,
+        )
+        assert publisher.leases.merge(ServerRecord(report, "c2"), 0.0)
+    answer = poll(publisher, follower, 0.0)
+    assert len(answer.records) == 64
+    assert len(CODEC.encode(answer)) < PAGE_BYTES
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -288,6 +288,7 @@
         ("concurrency", 10**18),
         ("warmup-left-ms", 1e300),
         ("backend", "x" * 256),
+        ("backend", "\u0e01" * 100),
         ("backend", "a\0b"),
         ("zone", "x" * 900_000),
         ("version", "a\nb"),
