Send no datagram to what is no IPv4 address and port

Seen by callers: nothing alone; with an odd endpoint in a record, or an odd name of a VM, the program ended at the next datagram for it, or stood still while a host name was looked up.

Cause: `PacketPort.send` caught OSError only. sendto raises OverflowError for a port, UnicodeError or ValueError for a name, and blocks on a look-up of any other text.

Change: a target that is no IP number in its usual notation with a port is counted as unsent, like a datagram that the kernel refuses.

--- a/libs/daemons/src/kumquatmux_daemons/entry/port.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/port.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from kumquatmux_core.identity import Endpoint
+from kumquatmux_core.identity import Endpoint, is_sendable
 
 BATCH_DATAGRAMS = 64
 DATAGRAM_BYTES = 65_535
@@ -29,7 +29,13 @@
         self.socket.bind(bind)
 
     def send(self, data: bytes | bytearray, target: tuple[str, int]) -> None:
-        """Send a datagram; a full or refused socket drops it like any network."""
+        """Send a datagram; a full or refused socket drops it like any network.
+
+        So does a target that is no IP number and port.
+        """
+        if not is_sendable(target):
+            self.counts["packets.unsent"] += 1
+            return
         try:
             self.socket.sendto(data, target)
         except OSError:
