Contain an error about one packet, message or record

Where an error is contained: a caller's packet, an opening packet that waits, a message of feed, look-up or tokens, a record in one, a message that cannot be encoded. The state behind them is soft: loads expire, records and documents are told again. Where it isn't: messages of the replicated log, whose state may be half changed, and the rest of each tick, which no input from outside enters by itself.

Evidence: the new tests let one packet, message or record fail.

A record that fails is left out until it changes or the sender starts again, as the position in the feed moves on.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -24,6 +24,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import Endpoint, VmId, ZoneName
 from kumquatmux_core.problems import Problem
+from kumquatmux_daemons.failures import log_contained
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.calls import (
     Answer,
@@ -40,7 +41,7 @@
 from kumquatmux_registry.leases import Leases
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.publisher import Document, Publisher, PublisherSettings
-from kumquatmux_registry.records import Phase
+from kumquatmux_registry.records import Phase, ServerRecord
 from kumquatmux_registry.saved import SavedServers
 from kumquatmux_registry.settings import RegistrySettings
 from kumquatmux_settings.documents import NumberedDocument, entry_of
@@ -146,11 +147,18 @@
         self.handle_call = self._handle_call
 
     def message(self, sender: VmId, message: Any, now: float) -> list[Sent | Answered]:
-        """Take a message of another VM."""
+        """Take a message of another VM.
+
+        An error spoils a message about servers only, which is sent again. One of the
+        replicated log stops the process, as its state may be half changed.
+        """
         if isinstance(message, ReplicaMessage):
             self.agreed.give(MessageReceived(message), now)
         else:
-            self.handle_message(message, now)
+            try:
+                self.handle_message(message, now)
+            except Exception as error:
+                log_contained("input-failed", error, "message")
         return self._effects(now)
 
     def call(self, call: Call, token: str, now: float) -> list[Sent | Answered]:
@@ -198,7 +206,7 @@
     def _(self, message: FeedAnswer, now: float) -> None:
         self.leases.hear_holder(message.sender, now)
         self.follower.take(message, now)
-        merged = [self.leases.merge(record, now) for record in message.records]
+        merged = [self._merge(record, now) for record in message.records]
         if any(merged):
             self._push(now)
         if self.follower.has_more(message):
@@ -316,6 +324,14 @@
     def _answer(self, token: str, answer: Answer) -> None:
         self.out.append(Answered(token, answer))
 
+    def _merge(self, record: ServerRecord, now: float) -> bool:
+        """Merge a record; return whether to push. An error spoils this one only."""
+        try:
+            return self.leases.merge(record, now)
+        except Exception as error:
+            log_contained("input-failed", error, "record")
+            return False
+
     def _push(self, now: float) -> None:
         """Push changes, at the next tick if others were pushed just now."""
         self.has_unpushed = now < self.pushed_at + PUSH_S
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from functools import singledispatchmethod
 from random import Random
 from typing import Any, NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
+from kumquatmux_daemons.failures import log_contained
 from kumquatmux_daemons.token_entry.formats import EntryFormat
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
@@ -138,16 +140,23 @@
         return self.has_served
 
     def packet(self, data: bytes, now: float) -> list[Effect]:
-        """Return what follows from a caller's packet."""
+        """Return what follows from a caller's packet.
+
+        An error spoils this packet only: the state that packets share is a count of
+        load, which expires, and packets of other flows do not depend on it.
+        """
         head = self.format.read_head(data)
         if head is None:
             self.counts["packets.unread"] += 1
             return []
-        return self._route(head, data, now)
+        return self._contained("packet", self._route, head, data, now)
 
     def message(self, sender: VmId, message: Any, now: float) -> list[Effect]:
-        """Return what follows from a message of another VM."""
-        return self.handle_message(message, now)
+        """Return what follows from a message of another VM.
+
+        An error spoils this message only: whatever has to arrive is sent again.
+        """
+        return self._contained("message", self.handle_message, message, now)
 
     def tick(self, now: float) -> list[Effect]:
         """Return what is due."""
@@ -174,6 +183,17 @@
         self.follower.is_stopping = True
         return [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
 
+    def _contained(
+        self, subject: str, work: Callable[..., list[Effect]], *given: Any
+    ) -> list[Effect]:
+        """Return what some work returns, nothing if it fails."""
+        try:
+            return work(*given)
+        except Exception as error:
+            self.counts[f"failed.{subject}"] += 1
+            log_contained("input-failed", error, subject)
+            return []
+
     def _route(self, head: PacketHeader, data: bytes, now: float) -> list[Effect]:
         decision = self.router.route_packet(head, now)
         return self.apply_decision(decision, head, data, now)
@@ -339,9 +359,16 @@
                 self.counts["records.unnamed"] += 1
                 log_decision("record-unnamed", server=record.report.lifetime)
                 continue
-            for changed in self.table.merge(record, now):
-                for held in self.router.store_record(changed, now):
-                    effects += self._route(held.header, held.data, now)
+            effects += self._contained("record", self._merge_one, record, now)
+        return effects
+
+    def _merge_one(self, record: ServerRecord, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for changed in self.table.merge(record, now):
+            for held in self.router.store_record(changed, now):
+                effects += self._contained(
+                    "packet", self._route, held.header, held.data, now
+                )
         return effects
 
     def _try_waiting(self, now: float) -> list[Effect]:
@@ -349,10 +376,13 @@
         self.retry_at = now + RETRY_S
         effects: list[Effect] = []
         for held in self.router.syn_buffer.unexpired_packets(now):
-            decision = self.router.route_packet(held.header, now)
-            effects += self._release(decision, held, now)
+            effects += self._contained("packet", self._try_one, held, now)
         return effects
 
+    def _try_one(self, held: BufferedPacket, now: float) -> list[Effect]:
+        decision = self.router.route_packet(held.header, now)
+        return self._release(decision, held, now)
+
     def _release(
         self, decision: Decision, held: BufferedPacket, now: float
     ) -> list[Effect]:
--- a/libs/daemons/src/kumquatmux_daemons/transport/datagrams.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/datagrams.py
@@ -18,6 +18,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import Endpoint, VmId
 from kumquatmux_daemons.entry.port import PacketPort
+from kumquatmux_daemons.failures import log_contained
 from kumquatmux_daemons.transport.intake import take_in
 from kumquatmux_daemons.transport.parts import Cutter, Joiner
 from kumquatmux_registry.feed import ELEMENT_TYPES
@@ -49,12 +50,21 @@
         target = (vm, self.peer_port)
         if message is not self.latest:
             self.latest = message
-            self.latest_datagrams = self.cutter.cut(self.messages.encode(message))
+            self.latest_datagrams = self._cut(message)
         for datagram in self.latest_datagrams:
             self.counts["peers.sent_bytes"] += len(datagram)
             self.port.send(datagram, target)
         self.counts["peers.sent"] += 1
 
+    def _cut(self, message: Any) -> list[bytes]:
+        """Return the datagrams of a message, none if it cannot be written."""
+        try:
+            return self.cutter.cut(self.messages.encode(message))
+        except (ValueError, TypeError, OverflowError, RecursionError) as error:
+            self.counts["peers.unwritten"] += 1
+            log_contained("peer-unwritten", error, type(message).__name__)
+            return []
+
     async def serve(
         self, receiver: Receiver, end_batch: Callable[[float], None] | None = None
     ) -> None:
--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -13,6 +13,7 @@
 
 from kumquatmux_agreement.entries import ReplicaId, founding_state
 from kumquatmux_agreement.messages import MESSAGE_TYPES as REPLICA_MESSAGES
+from kumquatmux_agreement.messages import JoinRequest
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.codec import PROTOCOL_VERSION, registry
 from kumquatmux_core.identity import Endpoint
@@ -355,3 +356,44 @@
     peers.take(data, (source, 0), 1.0, core.message)
     lone_part = bytes((PLAIN, 0, 0, 0, 1, 0, 0, 0, 1))
     peers.take(lone_part + data, (source, 0), 1.0, core.message)
+
+
+# Guards against: a message that cannot be encoded, which ended its sender.
+def test_a_message_that_cannot_be_written_is_counted_and_not_sent(peers):
+    before = peers.counts["peers.unwritten"]
+    odd = make_answer(make_record(slots=1 << 70, number=-(1 << 70)))
+    peers.send(PEER, odd._replace(zone=object()))
+    peers.send(PEER, make_answer(make_record(version="\ud800")))
+    assert peers.counts["peers.unwritten"] == before + 2
+    peers.send(PEER, make_answer(make_record()))
+    assert peers.counts["peers.unwritten"] == before + 2
+
+
+# Guards against: an error about one message that ends a control VM; one of the
+# replicated log still stops it.
+def test_an_error_about_servers_does_not_end_a_control_vm(monkeypatch):
+    core = make_control()
+
+    def fail(*_):
+        raise KeyError("odd")
+
+    monkeypatch.setattr(core.follower, "take", fail)
+    assert core.message(PEER, make_answer(make_record()), 1.0) == []
+    monkeypatch.setattr(core.agreed, "give", fail)
+    with pytest.raises(KeyError):
+        core.message(PEER, JoinRequest("registrar", ReplicaId(PEER, "g")), 1.0)
+
+
+# Guards against: an error about one record that loses its neighbours at a control VM.
+def test_an_error_about_a_record_does_not_lose_the_others_at_a_control_vm(monkeypatch):
+    core = make_control()
+    real = core.leases.merge
+
+    def merge(record, now):
+        if record.report.lifetime.name == "i-2":
+            raise RuntimeError("odd")
+        return real(record, now)
+
+    monkeypatch.setattr(core.leases, "merge", merge)
+    core.message(PEER, make_answer(*map(make_record, (1, 2, 3))), 1.0)
+    assert set(core.leases.table.held) == {"i-1", "i-3"}
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -290,3 +290,73 @@
     assert {poll.document for poll in polls(later)} == {3}
     core.message("c1", answer(document=9, content=b"9"), 6.1)
     assert core.router.route_table.document_number == 9
+
+
+@pytest.fixture
+def serving(core, monkeypatch):
+    """An entry VM that knows two servers, and fails for whatever is odd."""
+    core.message("c1", answer(server(1), server(2), document=3, content=b"3"), 0.1)
+    real = core.router.route_packet
+
+    def route(head, now):
+        if head.flow_key[:6] == (666).to_bytes(6):
+            raise OverflowError("int too large to convert to float")
+        return real(head, now)
+
+    monkeypatch.setattr(core.router, "route_packet", route)
+    return core
+
+
+# Guards against: an error about one caller's packet that ends the process for all.
+def test_an_error_spoils_the_packet_that_it_is_about_only(serving):
+    assert serving.packet(b"open 666", 0.5) == []
+    assert len(datagrams(serving.packet(b"open 7", 0.5))) == 1
+    assert serving.counts["failed.packet"] == 1
+
+
+# Guards against: a packet that fails again at each attempt, or keeps others waiting.
+def test_an_error_about_a_packet_that_waits_does_not_keep_the_others(core, monkeypatch):
+    for caller in (7, 666, 8):
+        core.packet(b"open %d" % caller, 0.1)
+    real = core.router.route_packet
+
+    def route(head, now):
+        if head.flow_key[:6] == (666).to_bytes(6):
+            raise ValueError("odd")
+        return real(head, now)
+
+    monkeypatch.setattr(core.router, "route_packet", route)
+    sent = core.message("c1", answer(server(1), document=3, content=b"3"), 0.2)
+    assert len(datagrams(sent)) == 2
+    for step in range(20):
+        core.tick(0.3 + 0.1 * step)
+    assert core.router.syn_buffer.by_flow == {}
+
+
+# Guards against: an error about one record that loses its neighbours.
+def test_an_error_about_a_record_does_not_lose_the_other_records(core, monkeypatch):
+    real = core.table.merge
+
+    def merge(record, now):
+        if record.report.lifetime.name == "i-2":
+            raise RuntimeError("odd record " + "x" * 9000)
+        return real(record, now)
+
+    monkeypatch.setattr(core.table, "merge", merge)
+    told = answer(server(1), server(2), server(3), document=3, content=b"3")
+    core.message("c1", told, 0.1)
+    assert set(core.table.held) == {"i-1", "i-3"}
+    assert core.router.route_table.document_number == 3
+
+
+# Guards against: an error about one message that ends the process.
+def test_an_error_about_a_message_spoils_this_message_only(core, monkeypatch):
+    def fail(*_):
+        raise KeyError("odd")
+
+    monkeypatch.setattr(core.follower, "take", fail)
+    assert core.message("c1", answer(server(1)), 0.1) == []
+    monkeypatch.undo()
+    core.message("c1", answer(server(1), document=3, content=b"3"), 0.2)
+    assert core.router.route_table.document_number == 3
+    assert core.counts["failed.message"] == 1
