Bound the bytes of messages of which parts are missing

Seen by callers: nothing yet. Parts of messages that never become whole could take 64 times 4 MB (a VM has 300 MB), and a sender of many such messages pushed out those of all others, so that a longer answer of the feed never arrived.

Cause: unfinished messages were counted, not measured, and the oldest went first, whoever had sent it.

Change: 16 MiB over all senders, with each part's own cost; what goes is the oldest message of the sender that holds most. A part that is too long or comes again takes no room.

Already sound: a message that unpacks to more than 4 MiB was left before.

--- a/libs/daemons/src/kumquatmux_daemons/transport/parts.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/parts.py
@@ -8,6 +8,7 @@
 import math
 import struct
 import zlib
+from collections import Counter
 from typing import NamedTuple
 
 PART_BYTES = 1200
@@ -22,6 +23,12 @@
 MESSAGES_HELD = 64
 """Messages of which parts are missing, over all senders."""
 
+BYTES_HELD = 16 * 1024 * 1024
+"""Bytes held of messages of which parts are missing, over all senders."""
+
+PART_OVERHEAD_BYTES = 150
+"""Bytes that a part takes beside its content."""
+
 WAIT_S = 2.0
 """Seconds after which a message with missing parts is given up."""
 
@@ -55,7 +62,13 @@
         self.number = first & 0xFFFFFFFF
 
     def cut(self, message: bytes) -> list[bytes]:
-        """Return the datagrams of a message."""
+        """Return the datagrams of a message.
+
+        Raises:
+            ValueError: The message is longer than a receiver takes.
+        """
+        if len(message) > LONGEST_BYTES:
+            raise ValueError(f"message of {len(message)} bytes")
         self.number = (self.number + 1) & 0xFFFFFFFF
         form = PLAIN
         if len(message) > PACKED_ABOVE_BYTES:
@@ -70,10 +83,16 @@
 
 
 class Joiner:
-    """Joins datagrams to messages."""
+    """Joins datagrams to messages.
+
+    Attributes:
+        open: Messages of which parts are missing, by sender and number, oldest first.
+        held_bytes: Bytes that they take, by sender.
+    """
 
     def __init__(self) -> None:
         self.open: dict[tuple[str, int], Whole] = {}
+        self.held_bytes: Counter[str] = Counter()
 
     def take(self, sender: str, datagram: bytes, now: float) -> bytes | None:
         """Return the message that a datagram completes, None if there is none."""
@@ -83,6 +102,8 @@
         if not 0 <= place < count or count * PART_BYTES > LONGEST_BYTES:
             return None
         part = datagram[_header.size :]
+        if len(part) > PART_BYTES:
+            return None
         if count == 1:
             return _plain(form, part)
         key = (sender, number)
@@ -90,18 +111,43 @@
         if whole is None:
             self._make_room(now)
             whole = self.open[key] = Whole({}, count, now)
-        if whole.total != count:
+        if whole.total != count or place in whole.parts:
             return None
         whole.parts[place] = part
+        self.held_bytes[sender] += len(part) + PART_OVERHEAD_BYTES
         if len(whole.parts) < count:
+            self._shed()
             return None
-        del self.open[key]
+        self._drop(key)
         return _plain(form, b"".join(whole.parts[at] for at in range(count)))
 
     def _make_room(self, now: float) -> None:
+        """Make room for a message."""
         for key, whole in list(self.open.items()):
-            if whole.since < now - WAIT_S or len(self.open) >= MESSAGES_HELD:
-                del self.open[key]
+            if whole.since < now - WAIT_S:
+                self._drop(key)
+        while len(self.open) >= MESSAGES_HELD:
+            self._drop_oldest_of_heaviest()
+
+    def _shed(self) -> None:
+        while self.held_bytes.total() > BYTES_HELD:
+            self._drop_oldest_of_heaviest()
+
+    def _drop_oldest_of_heaviest(self) -> None:
+        """Drop the oldest message of the sender that holds most.
+
+        So a sender of many or long messages pushes out its own, not those of others.
+        """
+        heaviest = max(self.held_bytes, key=self.held_bytes.__getitem__)
+        self._drop(next(key for key in self.open if key[0] == heaviest))
+
+    def _drop(self, key: tuple[str, int]) -> None:
+        sender = key[0]
+        parts = self.open.pop(key).parts.values()
+        self.held_bytes[sender] -= sum(map(len, parts))
+        self.held_bytes[sender] -= PART_OVERHEAD_BYTES * len(parts)
+        if not self.held_bytes[sender]:
+            del self.held_bytes[sender]
 
 
 def _plain(form: int, data: bytes) -> bytes | None:
