Bound the number of known servers, those of named services first

Another writer may announce servers without end, each under its own id: they filled the memory of every VM, the file of servers and the feed, and none was ever dropped unless it left. Times of the last report were kept for ever too.

A control VM now knows 16,384 servers at most (those of one region at the two-year size are 12,125), 1,024 of them of services that the manifest in force does not name. A new server of a named service displaces one that is late, ended or not named; any other displaces only those that are not named and late or ended, or is refused (`too-many-servers`, 400). A late server that another VM tells of displaces none, or two VMs would go on for ever. While there is no manifest all services count as named; what is beyond the bound goes when it comes.

Ruled out: a bound for each service, as names are free; refusing services that are not named, as servers report before the first manifest. The new tests need the new bounds, so they could not be run before.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/calls.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/calls.py
@@ -7,7 +7,7 @@
 
 from expression import Result
 
-from kumquatmux_core.identity import Endpoint, VmId
+from kumquatmux_core.identity import Endpoint, ServiceName, VmId
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.plain_http.server import HttpAnswer, HttpCall
 from kumquatmux_registry.records import Report
@@ -82,3 +82,6 @@
 
     def write_answer(self, call: HttpCall, answer: Answer) -> HttpAnswer:
         """Return an answer as it is sent."""
+
+    def services_of(self, content: bytes) -> frozenset[ServiceName]:
+        """Return the services that a document names, none if it cannot be read."""
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any, NamedTuple
 
@@ -22,7 +23,7 @@
     required_voter_count,
 )
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import Endpoint, VmId, ZoneName
+from kumquatmux_core.identity import Endpoint, ServiceName, VmId, ZoneName
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.calls import (
@@ -93,10 +94,12 @@
     Attributes:
         agreed: The replicated documents.
         saved: The file of servers.
+        services_of: Returns the services that a document names.
     """
 
     agreed: Agreed
     saved: SavedServers
+    services_of: Callable[[bytes], frozenset[ServiceName]] = lambda content: frozenset()
 
 
 class RegistrarCore:
@@ -122,6 +125,7 @@
         self.settings = settings
         self.agreed = parts.agreed
         self.saved = parts.saved
+        self.services_of = parts.services_of
         late = settings.report_period_s * LATE_REPORTS + MOVE_ON_S
         registry = RegistrySettings(late_after_s=late, holder_silent_s=late + MOVE_ON_S)
         self.leases = Leases(registry, settings.vm)
@@ -270,6 +274,7 @@
         self.publisher.is_current = self.agreed.is_current()
         if newest.number > self.publisher.document.number:
             self.publisher.document = Document(newest.number, newest.content)
+            self.leases.set_named_services(self.services_of(newest.content))
             self._push(now)
         sends = self.agreed.sends
         self.out.extend(Sent(one.vm, one.message) for one in sends)
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import VmId
+from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_core.problems import Problem
 from kumquatmux_registry.records import Phase, Report, ServerRecord, problem_of
 from kumquatmux_registry.settings import RegistrySettings
@@ -25,6 +25,8 @@
             in seconds of the monotonic clock.
         last_holder_message_at: Time of the latest message from each other control VM,
             in seconds of the monotonic clock.
+        named_services: Services that the settings document names; empty while there
+            is no document.
     """
 
     def __init__(self, settings: RegistrySettings, own_vm: VmId) -> None:
@@ -33,16 +35,20 @@
         self.table = ServerTable()
         self.last_report_at: dict[str, float] = {}
         self.last_holder_message_at: dict[VmId, float] = {}
+        self.named_services: frozenset[ServiceName] = frozenset()
 
     def report(self, report: Report, now: float) -> Result[bool, Problem]:
         """Process a report; return whether the other VMs must be told of the change.
 
         Errors:
             ``other-server`` if the service, endpoint or zone of a known lifetime
-            changed.
+            changed, ``too-many-servers`` if the server is not known and there is no
+            room for it.
         """
         name = report.lifetime.name
         existing = self.table.get(name)
+        if existing is None and not self._make_room(report.service):
+            return Error(Problem("too-many-servers", "ask again later", name))
         if existing is None or existing.report.lifetime != report.lifetime:
             return Ok(self._store_report(report, now))
         previous_report = existing.report
@@ -84,6 +90,9 @@
         if problem:
             log_decision("servers-unread", problem=problem, holder=record.holder[:64])
             return False
+        is_known = record.report.lifetime.name in self.table.held
+        if not is_known and not self._admits(record):
+            return False
         changed = bool(self.table.merge(record, now))
         if record.is_late and self._can_refute(record, now):
             self.table.republish(record.report.lifetime.name, now)
@@ -107,8 +116,79 @@
                 continue
             has_changes |= bool(self.table.merge(record.with_suspicion_toggled(), now))
         self.table.remove_ended(now - self.settings.ended_retention_s)
+        self._forget_times(now)
         return has_changes
 
+    def set_named_services(self, services: frozenset[ServiceName]) -> None:
+        """Take the services that the settings document names."""
+        self.named_services = services
+        surplus = self._unnamed_count() - self.settings.max_unnamed_records
+        unnamed = [
+            name
+            for name, entry in self.table.held.items()
+            if not self._is_named(entry.record.report.service)
+        ]
+        for name in unnamed[: max(surplus, 0)]:
+            self._forget(name)
+
+    def _admits(self, record: ServerRecord) -> bool:
+        """Return whether a server that another VM tells of may be stored.
+
+        One that is late or ended displaces no other: two VMs would go on for ever.
+        """
+        service = record.report.service
+        if _is_unused(record):
+            return self._has_room(self._is_named(service))
+        return self._make_room(service)
+
+    def _make_room(self, service: ServiceName) -> bool:
+        """Return whether another server may be stored, after removing one if need be.
+
+        A server of a named service displaces one that is late, ended or not named;
+        any other displaces one that is not named and late or ended.
+        """
+        is_named = self._is_named(service)
+        if self._has_room(is_named):
+            return True
+        for name, entry in self.table.held.items():
+            if self._may_be_displaced(entry.record, is_named):
+                self._forget(name)
+                return True
+        return False
+
+    def _forget(self, name: str) -> None:
+        log_decision(
+            "server-forgotten", server=self.table.held[name].record.report.lifetime
+        )
+        self.table.remove(name)
+
+    def _has_room(self, is_named: bool) -> bool:
+        if len(self.table.held) >= self.settings.max_records:
+            return False
+        return is_named or self._unnamed_count() < self.settings.max_unnamed_records
+
+    def _unnamed_count(self) -> int:
+        counts = self.table.count_by_service.items()
+        return sum(count for service, count in counts if not self._is_named(service))
+
+    def _is_named(self, service: ServiceName) -> bool:
+        return not self.named_services or service in self.named_services
+
+    def _may_be_displaced(self, record: ServerRecord, by_named: bool) -> bool:
+        is_named = self._is_named(record.report.service)
+        if by_named:
+            return _is_unused(record) or not is_named
+        return _is_unused(record) and not is_named
+
+    def _forget_times(self, now: float) -> None:
+        """Drop times that no lease depends on any more."""
+        for name in self.last_report_at.keys() - self.table.held.keys():
+            del self.last_report_at[name]
+        oldest_allowed = now - self.settings.holder_silent_s
+        for holder, heard_at in list(self.last_holder_message_at.items()):
+            if heard_at < oldest_allowed:
+                del self.last_holder_message_at[holder]
+
     def _can_refute(self, suspected: ServerRecord, now: float) -> bool:
         """Return whether a suspected server has reported to this VM recently."""
         name = suspected.report.lifetime.name
@@ -147,3 +227,8 @@
         if changed:
             self.last_report_at[report.lifetime.name] = now
         return bool(changed)
+
+
+def _is_unused(record: ServerRecord) -> bool:
+    """Return whether a server gets no new flows."""
+    return record.is_late or record.report.phase == Phase.ENDED
--- a/libs/registry/src/kumquatmux_registry/settings.py
+++ b/libs/registry/src/kumquatmux_registry/settings.py
@@ -17,9 +17,15 @@
             longer than any flow to the server lasts.
         page_size: Maximum number of records in one feed answer, which limits the
             size of the message.
+        max_records: Maximum number of known servers; those of one region at the
+            two-year size fit.
+        max_unnamed_records: Maximum number of known servers whose service the settings
+            document does not name.
     """
 
     late_after_s: float = 4.0
     holder_silent_s: float = 5.0
     ended_retention_s: float = 120.0
     page_size: int = 64
+    max_records: int = 16_384
+    max_unnamed_records: int = 1_024
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import Endpoint
+from kumquatmux_core.identity import Endpoint, ServiceName
 from kumquatmux_registry.records import Phase, ServerRecord
 
 
@@ -30,6 +31,7 @@
         held: Entry with the newest record of each server name, oldest change first.
         name_by_token: Server name of each token.
         name_by_endpoint: Name of the server that last claimed each endpoint.
+        count_by_service: Number of servers of each service.
         position: Sequence number of the latest change.
     """
 
@@ -37,6 +39,7 @@
         self.held: dict[str, TableEntry] = {}
         self.name_by_token: dict[int, str] = {}
         self.name_by_endpoint: dict[Endpoint, str] = {}
+        self.count_by_service: Counter[ServiceName] = Counter()
         self.position = 0
 
     def get(self, name: str) -> ServerRecord | None:
@@ -90,6 +93,13 @@
         record = self.held.pop(name).record
         self.name_by_token.pop(record.token, None)
         self._drop_claim(record)
+        self._uncount(record)
+
+    def _uncount(self, record: ServerRecord) -> None:
+        service = record.report.service
+        self.count_by_service[service] -= 1
+        if not self.count_by_service[service]:
+            del self.count_by_service[service]
 
     def _drop_claim(self, record: ServerRecord) -> None:
         endpoint = record.report.endpoint
@@ -101,6 +111,9 @@
         name = report.lifetime.name
         self.position += 1
         previous = self.held.pop(name, None)
+        self.count_by_service[report.service] += 1
+        if previous is not None:
+            self._uncount(previous.record)
         if previous is None or previous.record.report.lifetime != report.lifetime:
             if previous is not None:
                 self.name_by_token.pop(previous.record.token, None)
--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -1,6 +1,10 @@
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.leases import Leases
@@ -138,3 +142,121 @@
     assert leases.merge(ServerRecord(make_report(), "c2" * 1000), 0.0) is False
     assert leases.merge(ServerRecord(make_report(), "c2", 2**64), 0.0) is False
     assert leases.table.held == {}
+
+
+BOUNDED = SETTINGS._replace(max_records=8, max_unnamed_records=3)
+
+
+def bounded_leases():
+    leases = Leases(BOUNDED, "c1")
+    leases.named_services = frozenset(["entries"])
+    return leases
+
+
+def report_server(leases, number, service="entries", now=0.0):
+    """Report a server of its own name and address; return whether it is known."""
+    name = f"i-{number}"
+    place = Endpoint("10.0.0.9", number)
+    report = make_report(lifetime=Lifetime(name, 1), endpoint=place, service=service)
+    leases.report(report, now)
+    return name in leases.table.held
+
+
+# Guards against a writer that announces servers without end.
+def test_servers_that_are_not_named_are_bounded():
+    leases = bounded_leases()
+    known = [report_server(leases, number, "nosuch") for number in range(1, 6)]
+    assert known == [True, True, True, False, False]
+    merged = ServerRecord(make_report(lifetime=Lifetime("i-9", 1), service="no"), "c2")
+    assert leases.merge(merged, 0.0) is False
+    assert report_server(leases, 7)
+
+
+# Guards against sound servers that are kept out, or pushed out, by others.
+def test_a_server_of_a_named_service_displaces_one_that_is_not_named():
+    leases = bounded_leases()
+    for number in range(1, 4):
+        report_server(leases, number, "nosuch")
+    assert all(report_server(leases, number) for number in range(11, 19))
+    assert set(leases.table.held) == {f"i-{number}" for number in range(11, 19)}
+    assert not report_server(leases, 20, "nosuch")
+    assert not report_server(leases, 21)
+
+
+# Guards against a full list that never takes a new server again.
+def test_late_and_ended_servers_give_way_to_new_ones():
+    leases = bounded_leases()
+    for number in range(1, 9):
+        report_server(leases, number)
+    leases.leave("i-3", 1.0)
+    assert report_server(leases, 10, now=1.0)
+    assert "i-3" not in leases.table.held
+    leases.expire(9.0)
+    assert report_server(leases, 11, now=9.0)
+    assert len(leases.table.held) == 8
+
+
+# Guards against two VMs that displace each other's late servers without end.
+def test_a_late_server_of_another_vm_displaces_none():
+    leases = bounded_leases()
+    for number in range(1, 4):
+        report_server(leases, number, "nosuch")
+    leases.expire(9.0)
+    other = make_report(lifetime=Lifetime("i-9", 1), service="nosuch")
+    assert leases.merge(ServerRecord(other, "c2", doubts=1), 9.0) is False
+    assert leases.merge(ServerRecord(other, "c2"), 9.0) is True
+
+
+# Guards against a start on many servers before the document is known.
+def test_servers_beyond_the_bound_go_once_the_services_are_known():
+    leases = Leases(BOUNDED, "c1")
+    for number in range(1, 6):
+        report_server(leases, number, "nosuch")
+    report_server(leases, 7)
+    leases.set_named_services(frozenset(["entries"]))
+    assert set(leases.table.held) == {"i-3", "i-4", "i-5", "i-7"}
+
+
+# Guards against servers refused before the first document names their service.
+def test_all_services_count_as_named_while_there_is_no_document():
+    leases = Leases(BOUNDED, "c1")
+    assert all(report_server(leases, number, f"s{number}") for number in range(1, 9))
+
+
+# Guards against times that pile up with each name that was ever reported.
+def test_times_of_servers_and_holders_that_are_gone_are_dropped():
+    leases = bounded_leases()
+    report_server(leases, 1)
+    leases.hear_holder("c2", 0.0)
+    leases.leave("i-1", 1.0)
+    leases.expire(200.0)
+    assert (leases.last_report_at, leases.last_holder_message_at) == ({}, {})
+
+
+# Guards against a count that drifts from the servers that are known.
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(1, 6),
+            st.integers(1, 3),
+            st.sampled_from(["a", "b", "entries"]),
+            st.sampled_from(list(Phase)),
+        ),
+        max_size=30,
+    )
+)
+def test_servers_are_counted_by_service(steps):
+    leases = bounded_leases()
+    for now, (number, born, service, phase) in enumerate(steps):
+        report = make_report(
+            born=born,
+            lifetime=Lifetime(f"i-{number}", born),
+            service=service,
+            phase=phase,
+            endpoint=Endpoint("10.0.0.9", number % 3 + 1),
+        )
+        leases.merge(ServerRecord(report, "c2"), float(now * 60))
+        leases.expire(float(now * 60))
+        services = [entry.record.report.service for entry in leases.table.held.values()]
+        assert leases.table.count_by_service == Counter(services)
+        assert len(services) <= BOUNDED.max_records
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -122,6 +122,11 @@
     assert (answer.status, answer.body) == (200, body)
 
 
+def test_the_services_of_a_manifest_are_told():
+    assert CALLS.services_of(pack(json.dumps(MANIFEST).encode())) == {"entries"}
+    assert CALLS.services_of(pack(b"[" * 100_000)) == frozenset()
+
+
 def test_an_invalid_manifest_is_refused_with_its_reason():
     read = CALLS.read_call(put("/v1/config", {**MANIFEST, "backends": []}))
     answer = CALLS.write_answer(
