--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -215,7 +215,8 @@
     random = Random(secrets.randbits(64))
     agreed = Agreed(replica_settings(settings, store), store, random)
     incarnation = secrets.randbits(48)
-    core_parts = CoreParts(agreed, SavedServers(store.disk))
+    saved = SavedServers(store.disk)
+    core_parts = CoreParts(agreed, saved, parts.format.services_of)
     core = RegistrarCore(settings, core_parts, incarnation, trio.current_time())
     messages = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES)
     peers = await bind_when_possible(
