Bound what log lines and metrics take of odd values

Seen by callers: a program that logs a number of more than 64 bits or a text with half a character ended at that line (OverflowError, UnicodeEncodeError); the line of a long text was as long as what another had sent.

A control VM counts methods other than GET, PUT and DELETE as one; they are the only methods that it takes.

Existing lines and names stay: the tests that held them are unchanged.

--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -4,10 +4,21 @@
 
 import os
 from collections import Counter, deque
+from itertools import islice
 from typing import Any, NamedTuple
 
 import msgspec
 
+MAX_TEXT_CHARACTERS = 1000
+"""Longest text in a line; the rest of a longer one is left out."""
+
+MAX_ENTRIES = 100
+"""Most entries of a mapping in a line."""
+
+ENCODED_INTEGERS = range(-(1 << 63), 1 << 64)
+MAX_INTEGER_BITS = 256
+"""Length up to which larger integers are written out, as text."""
+
 
 class LineSettings(NamedTuple):
     """Output file descriptor and limits of a line writer.
@@ -78,7 +89,7 @@
             return
         self.lines_this_second[event] += 1
         line = {"t": round(self.now, 3), "event": event, "vm": self.vm}
-        line.update((key, _json_value(value)) for key, value in fields.items())
+        line.update(_json_value(fields))
         self.buffered.append(msgspec.json.encode(line) + b"\n")
 
     def flush(self) -> None:
@@ -109,6 +120,31 @@
 
 
 def _json_value(value: Any) -> Any:
-    if value is None or isinstance(value, int | float | dict):
+    """Return a value as JSON can hold it, and of bounded length."""
+    if value is None or isinstance(value, bool | float):
+        return value
+    if isinstance(value, int):
+        return _json_integer(value)
+    if isinstance(value, dict):
+        entries = islice(value.items(), MAX_ENTRIES)
+        return {_text(key): _json_value(inner) for key, inner in entries}
+    return _text(value)
+
+
+def _json_integer(value: int) -> int | str:
+    if value in ENCODED_INTEGERS:
         return value
-    return str(value)
+    if value.bit_length() <= MAX_INTEGER_BITS:
+        return str(value)
+    return f"integer of {value.bit_length()} bits"
+
+
+def _text(value: Any) -> str:
+    try:
+        text = str(value)
+    except Exception as error:
+        # A log line must not end the process for the sake of what it shows.
+        return f"{type(value).__name__} ({type(error).__name__})"
+    if len(text) > MAX_TEXT_CHARACTERS:
+        text = text[:MAX_TEXT_CHARACTERS] + "..."
+    return text.encode(errors="backslashreplace").decode()
--- a/libs/core/tests/test_lines.py
+++ b/libs/core/tests/test_lines.py
@@ -4,6 +4,8 @@
 import os
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from kumquatmux_core.lines import LineSettings, LineWriter
 
@@ -72,3 +74,54 @@
     writer.flush()
     assert writer.dropped["stream-failed"] == 1
     os.close(write_fd)
+
+
+class Unprintable:
+    def __str__(self):
+        raise ValueError("no text")
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text() | st.integers(), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+# Guards against: a value in a line that JSON cannot hold, which ended the process.
+@given(st.dictionaries(st.text(max_size=5), VALUES, max_size=4))
+@example({"number": 1 << 64, "other": -(1 << 63) - 1})
+@example({"number": 10**5000})
+@example({"text": "\ud800 lone", "pair": ("\ud800", 1)})
+@example({"\ud800": 1, "counts": {"\ud800": 1 << 70, 5: 1}})
+@example({"ratio": float("nan"), "most": float("inf")})
+@example({"object": Unprintable(), "numbers": (10**5000,)})
+def test_any_value_becomes_one_line(fields):
+    writer = LineWriter(LineSettings(-1), "e1")
+    writer.put("event", fields)
+    (line,) = writer.buffered
+    assert line.count(b"\n") == 1
+    assert "event" in json.loads(line)
+
+
+# Guards against: a line as long as what a caller sent.
+def test_long_values_are_cut():
+    writer = LineWriter(LineSettings(-1), "e1")
+    long_text = "\u00e9" * 1_000_000
+    counts = {f"name-{number}": number for number in range(100_000)}
+    writer.put(
+        "event", {"text": long_text, "counts": counts, "inner": {"a": long_text}}
+    )
+    assert len(writer.buffered[0]) < 10_000
+    assert json.loads(writer.buffered[0])["text"].startswith("\u00e9" * 1000)
+
+
+def test_large_numbers_are_shown_as_text():
+    writer = LineWriter(LineSettings(-1), "e1")
+    writer.put("event", {"large": 1 << 64, "small": (1 << 64) - 1, "long": 1 << 999})
+    line = json.loads(writer.buffered[0])
+    assert (line["large"], line["small"]) == (str(1 << 64), (1 << 64) - 1)
+    assert line["long"] == "integer of 1000 bits"
--- a/libs/daemons/src/kumquatmux_daemons/metrics_text.py
+++ b/libs/daemons/src/kumquatmux_daemons/metrics_text.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
 
 from kumquatmux_core.latencies import Latencies
 
+MAX_NAME_CHARACTERS = 100
+OTHER_CHARACTERS = re.compile("[^a-zA-Z0-9_]")
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
@@ -24,4 +27,4 @@
 
 
 def _name(name: str) -> str:
-    return "kumquatmux_" + name.replace(".", "_").replace("-", "_")
+    return "kumquatmux_" + OTHER_CHARACTERS.sub("_", name[:MAX_NAME_CHARACTERS])
--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -40,6 +40,9 @@
 from kumquatmux_storage.disk import open_folder
 
 CLUSTER = "registrar"
+COUNTED_METHODS = frozenset({"GET", "PUT", "DELETE"})
+"""Methods of calls that have metrics of their own; a caller may send any other."""
+
 FOLDER_NAME_BYTES = 8
 TICK_S = 0.05
 HEARTBEAT_S = 0.12
@@ -239,10 +242,9 @@
             answer = Answer(Outcome.REFUSED, problem=read.error)
         else:
             answer = await desk.ask(read.ok)
-        desk.counts[f"calls.{call.method}.{answer.outcome}".lower()] += 1
-        desk.latencies.record(
-            f"call.{call.method}".lower(), trio.current_time() - started
-        )
+        method = call.method if call.method in COUNTED_METHODS else "other"
+        desk.counts[f"calls.{method}.{answer.outcome}".lower()] += 1
+        desk.latencies.record(f"call.{method}".lower(), trio.current_time() - started)
         if answer.outcome != Outcome.DONE or read.is_error():
             log_decision(
                 "call-answered",
