Try generated packets between generated messages on an entry VM

A test only: heads, lengths, flags, addresses and tokens of packets, usual and odd ones, between messages of other VMs, with the platform's format and the real socket for what follows. The tests of generated messages now also fail where an error was contained, so that containment hides nothing from them.

--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import struct
 from enum import IntEnum
 from pathlib import Path
 from random import Random
@@ -15,6 +16,7 @@
 from kumquatmux_agreement.messages import MESSAGE_TYPES as REPLICA_MESSAGES
 from kumquatmux_agreement.messages import JoinRequest
 from kumquatmux_agreement.settings import ReplicaSettings
+from kumquatmux_core import decisions
 from kumquatmux_core.codec import PROTOCOL_VERSION, registry
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_daemons.registrar.agreed import Agreed
@@ -42,7 +44,8 @@
 PLACE = Endpoint("127.0.0.1", 0)
 PEER = "10.0.0.2"
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
-ROUTED_FLOW = bytes([100, 64, 0, 7, 0, 1]) + ROUTE_ADDRESS
+CALLER = bytes([100, 64, 0, 7])
+ROUTED_FLOW = CALLER + bytes([0, 1]) + ROUTE_ADDRESS
 MANIFEST = {
     "version": 2,
     "routes": [
@@ -115,6 +118,47 @@
     )
 
 
+TOKENS = tuple(Lifetime(f"i-{number}", 1).token for number in (1, 2))
+ODD_HEADS = st.tuples(
+    st.sampled_from((0, 1, *TOKENS)) | st.integers(0, (1 << 32) - 1),
+    st.sampled_from((443, 0, 65_535)),
+    st.sampled_from((ROUTE_ADDRESS[:4], bytes(4), b"\xff" * 4)),
+    st.sampled_from((CALLER, bytes(4), b"\xff" * 4, bytes([10, 0, 0, 1]))),
+    st.integers(0, 3) | st.just(65_535),
+    st.just(0),
+    st.integers(0, (1 << 32) - 1),
+    st.integers(0, (1 << 32) - 1),
+    st.sampled_from((128, 16, 24, 8, 64, 144, 0, 255)),
+    st.just(bytes(5)),
+)
+USUAL_HEADS = st.tuples(
+    st.sampled_from((0, *TOKENS)),
+    st.just(443),
+    st.just(ROUTE_ADDRESS[:4]),
+    st.just(CALLER),
+    st.integers(0, 3),
+    st.just(0),
+    st.integers(0, 3),
+    st.integers(0, 3),
+    st.sampled_from((128, 128, 16, 16, 24, 64)),
+    st.just(bytes(5)),
+)
+
+
+def packet(head, data, error):
+    length = max(len(data) + error, 0)
+    return struct.pack("!IH4s4sHIIIB5sH", *head, length) + data
+
+
+ODD_DATA = st.binary(max_size=9) | st.just(bytes(1200)) | st.just(bytes(1201))
+PACKETS = st.one_of(
+    st.builds(packet, USUAL_HEADS, st.binary(max_size=2), st.just(0)),
+    st.builds(packet, USUAL_HEADS, st.binary(max_size=2), st.just(0)),
+    st.builds(packet, ODD_HEADS, ODD_DATA, st.sampled_from((0, 0, 1, -1))),
+    st.binary(max_size=80),
+)
+
+
 def encoded(kind, fields):
     header = bytes((PROTOCOL_VERSION, kind >> 8, kind & 0xFF))
     return header + msgspec.msgpack.encode(fields)
@@ -192,6 +236,20 @@
     made.close()
 
 
+@pytest.fixture(scope="module")
+def contained():
+    """Collect the errors that were contained; generated input must cause none."""
+    found = []
+
+    def sink(event, fields):
+        if event == "input-failed":
+            found.append(fields)
+
+    decisions.configure(as_json=False, sink=sink)
+    yield found
+    decisions.configure(as_json=False)
+
+
 def deliver(peers, core, messages, step_s=0.3):
     """Give a core the messages as datagrams of a peer and carry out what it answers."""
     now = 1.0
@@ -239,14 +297,39 @@
 # Guards against: exceptions of the entry VM's handlers, each of which ended it.
 @settings(max_examples=300)
 @given(st.lists(messages_of(SOFT, values_from_peer), max_size=8))
-def test_an_entry_vm_bears_generated_messages_in_any_order(peers, messages):
+def test_an_entry_vm_bears_generated_messages_in_any_order(peers, contained, messages):
     deliver(peers, make_entry(), messages)
+    assert contained == []
 
 
 @settings(max_examples=200)
 @given(st.lists(messages_of(SOFT, values_from_peer), max_size=8))
-def test_a_control_vm_bears_generated_messages_in_any_order(peers, messages):
+def test_a_control_vm_bears_generated_messages_in_any_order(peers, contained, messages):
     deliver(peers, make_control(), messages)
+    assert contained == []
+
+
+# Guards against: a head, a length or an address of a packet that ends the entry VM.
+@settings(max_examples=300)
+@given(st.lists(PACKETS | messages_of(SOFT, values_from_peer), min_size=4, max_size=20))
+def test_an_entry_vm_bears_generated_packets_between_messages(peers, contained, inputs):
+    entry = make_entry()
+    records = (make_record(1, service="s"), make_record(2, service="s"))
+    sound = make_answer(*records, document=2, content=DOCUMENT)
+    deliver(peers, entry, [encoded(0x0602, list(sound))])
+    now = 2.0
+    for one in inputs:
+        for effect in entry.packet(one, now):
+            if isinstance(effect, Datagram):
+                peers.port.send(effect.data, effect.target)
+                assert len(effect.data) <= 8 + 36 + 1200
+            else:
+                peers.send(effect.vm, effect.message)
+        deliver(peers, entry, [one])
+        now += 0.15
+        entry.tick(now)
+    assert contained == []
+    assert entry.router.route_table.routes.keys() == {ROUTE_ADDRESS}
 
 
 # Guards against: one odd record of the list that hides all others for good, as the
