--- a/libs/core/src/kumquatmux_core/lines.py
+++ b/libs/core/src/kumquatmux_core/lines.py
@@ -17,7 +17,7 @@
 
 ENCODED_INTEGERS = range(-(1 << 63), 1 << 64)
 MAX_INTEGER_BITS = 256
-"""Length up to which larger integers are written out, as text."""
+"""Length up to which larger integers are written out, which the encoder does not do."""
 
 
 class LineSettings(NamedTuple):
@@ -131,11 +131,11 @@
     return _text(value)
 
 
-def _json_integer(value: int) -> int | str:
+def _json_integer(value: int) -> int | str | msgspec.Raw:
     if value in ENCODED_INTEGERS:
         return value
     if value.bit_length() <= MAX_INTEGER_BITS:
-        return str(value)
+        return msgspec.Raw(str(value).encode())
     return f"integer of {value.bit_length()} bits"
 
 
