Put calls off while a control VM cannot open its data folder

Cause: nothing was written or bound before the folder was open. Each attempt also kept the folder's lock, so that the next one found the folder in use by another process (itself), even once it was mended. Change: the door takes calls from the start and answers 503 with Retry-After until there is a desk; the folder is let go after a failed attempt; documents are looked at before the store is used; lines are written meanwhile. Damaged files are never written to. Not mended here: a log with 3 MB of noise at its end takes seconds to search.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -8,21 +8,26 @@
 from random import Random
 from typing import Any, NamedTuple
 
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
-from kumquatmux_agreement.entries import ReplicaId, founding_state, joining_state
+from kumquatmux_agreement.entries import (
+    EntryKind,
+    ReplicaId,
+    founding_state,
+    joining_state,
+)
 from kumquatmux_agreement.messages import MESSAGE_TYPES as REPLICA_MESSAGES
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.codec import registry
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import Endpoint, VmId
+from kumquatmux_core.identity import VmId
 from kumquatmux_core.latencies import Latencies
 from kumquatmux_core.lines import LineWriter
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons import metrics_text
 from kumquatmux_daemons.plain_http.server import (
-    Handler,
     HttpAnswer,
     HttpCall,
     Shutdown,
@@ -31,6 +36,7 @@
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.calls import Answer, CallFormat, Outcome
 from kumquatmux_daemons.registrar.core import Answered, CoreParts, RegistrarCore, Sent
+from kumquatmux_daemons.registrar.door import Door
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
 from kumquatmux_daemons.running import Steering
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams, every
@@ -38,8 +44,16 @@
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
 from kumquatmux_registry.saved import SavedServers
+from kumquatmux_settings.documents import NumberedDocument
 from kumquatmux_storage import Identity, Store, open_or_create
 from kumquatmux_storage.disk import open_folder
+from kumquatmux_storage.files import (
+    DECODE_ERRORS,
+    DETAIL_CHARACTERS,
+    LOG,
+    RECOVERY_ADVICE,
+    SNAPSHOT,
+)
 
 CLUSTER = "registrar"
 FOLDER_NAME_BYTES = 8
@@ -59,9 +73,6 @@
 STOP_S = 1.2
 """Seconds a stopping registrar goes on, so that another one leads and is told."""
 
-LAST_ANSWERS_S = 1.0
-"""Longest seconds after that in which the calls that arrived get their answers."""
-
 
 class RegistrarParts(NamedTuple):
     """What a registrar is made of.
@@ -87,11 +98,14 @@
         counts: Calls by outcome.
         latencies: How long calls took.
         shutdown: Graceful shutdown of the server that takes the calls.
-        stopped: Set when the last call is answered after it.
     """
 
     def __init__(
-        self, core: RegistrarCore, peers: PeerDatagrams, lines: LineWriter
+        self,
+        core: RegistrarCore,
+        peers: PeerDatagrams,
+        lines: LineWriter,
+        shutdown: Shutdown,
     ) -> None:
         self.core = core
         self.peers = peers
@@ -101,8 +115,7 @@
         self.waiting: dict[str, trio.Event] = {}
         self.answers: dict[str, Answer] = {}
         self.calls = 0
-        self.shutdown = Shutdown()
-        self.stopped = trio.Event()
+        self.shutdown = shutdown
 
     def carry_out(self, effects: list[Sent | Answered]) -> None:
         """Send messages and wake the calls that are answered."""
@@ -149,7 +162,10 @@
 
 
 def open_store(settings: RegistrarSettings) -> Result[Store, Problem]:
-    """Open the data folder, or create it if it is empty."""
+    """Open the data folder, or create it if it is empty.
+
+    The folder is let go if it cannot be used, so that it can be opened again.
+    """
     disk = open_folder(settings.folder)
     if disk.is_error():
         return Error(disk.error)
@@ -159,10 +175,26 @@
         founder = ReplicaId(settings.vm, folder)
         first = founding_state(founder, tuple(sorted(settings.seeds)))
     identity = Identity(CLUSTER, settings.vm, folder)
-    opened = open_or_create(disk.ok, identity, first)
+    opened = open_or_create(disk.ok, identity, first).bind(check_documents)
     if opened.is_error():
-        return Error(opened.error)
-    return Ok(opened.ok)
+        disk.ok.close()
+    return opened
+
+
+def check_documents(store: Store) -> Result[Store, Problem]:
+    """Return the store if the documents in it can be read."""
+    snapshot = store.restored.snapshot
+    contents = [(SNAPSHOT, snapshot.data)] if snapshot.data else []
+    for entry in store.restored.entries:
+        if entry.kind == EntryKind.DATA:
+            contents.append((LOG, entry.data))
+    for name, content in contents:
+        try:
+            msgspec.msgpack.decode(content, type=NumberedDocument)
+        except DECODE_ERRORS as error:
+            detail = f"{str(error)[:DETAIL_CHARACTERS]}; {RECOVERY_ADVICE}"
+            return Error(Problem("file-content", detail, name))
+    return Ok(store)
 
 
 def replica_settings(settings: RegistrarSettings, store: Store) -> ReplicaSettings:
@@ -190,18 +222,23 @@
 async def run_registrar(parts: RegistrarParts) -> None:
     """Run a registrar until it has stopped gracefully."""
     steering = parts.steering
+    door = Door(parts.format)
     parts.lines.tick(trio.current_time())
     async with trio.open_nursery() as nursery:
         nursery.start_soon(steering.watch_signals)
-        desk = await steering.prepare(partial(prepare_desk, parts), parts.lines)
+        nursery.start_soon(door.serve, parts.settings.calls)
+        prepared = partial(prepare_desk, parts, door.shutdown)
+        desk = await steering.prepare(prepared, parts.lines)
         if desk is not None:
+            door.handler = calls_handler(desk, parts)
             await serve_until_stopped(desk, parts, nursery)
+        await door.close()
         nursery.cancel_scope.cancel()
     log_decision("stopped", role="registrar")
     parts.lines.flush()
 
 
-async def prepare_desk(parts: RegistrarParts) -> Desk:
+async def prepare_desk(parts: RegistrarParts, shutdown: Shutdown) -> Desk:
     """Return the desk, once the data folder is open and the port is bound."""
     settings = parts.settings
     store = await open_when_possible(settings)
@@ -214,19 +251,17 @@
     peers = await bind_when_possible(
         partial(PeerDatagrams, messages=messages), settings.peers
     )
-    return Desk(core, peers, parts.lines)
+    return Desk(core, peers, parts.lines, shutdown)
 
 
 async def serve_until_stopped(
     desk: Desk, parts: RegistrarParts, nursery: trio.Nursery
 ) -> None:
-    """Serve until the program has to stop and the last call is answered."""
+    """Serve until the program has to stop and another one can lead."""
     settings = parts.settings
     steering = parts.steering
     nursery.start_soon(desk.peers.serve, desk.take)
     nursery.start_soon(every, TICK_S, desk.tick)
-    handle_call = calls_handler(desk, parts)
-    nursery.start_soon(serve_calls, settings.calls, handle_call, desk)
     nursery.start_soon(serve_http, settings.metrics, metrics_handler(desk, parts))
     steering.steer(desk.core.follower)
     nursery.start_soon(steering.watch_settings)
@@ -235,14 +270,6 @@
     desk.carry_out(desk.core.stop(trio.current_time()))
     await trio.sleep(STOP_S)
     desk.stop()
-    with trio.move_on_after(LAST_ANSWERS_S):
-        await desk.stopped.wait()
-
-
-async def serve_calls(bind: Endpoint, handler: Handler, desk: Desk) -> None:
-    """Serve calls until the desk stops and the last one is answered."""
-    await serve_http(bind, handler, desk.shutdown)
-    desk.stopped.set()
 
 
 def calls_handler(desk: Desk, parts: RegistrarParts) -> Any:
