Search a torn log for a whole frame without trying every byte

Seen by callers: a control VM that starts with a torn write at the end of its log was silent for seconds: calls refused, SIGTERM not obeyed meanwhile. Cause: the search for a whole frame after the torn one reads a length at each byte. Change: only places are tried where the highest byte of a length fits into what is left of the file and the length is not zero, found by one expression. The new test compares the search with trying every byte, on generated content.

--- a/libs/storage/src/kumquatmux_storage/frames.py
+++ b/libs/storage/src/kumquatmux_storage/frames.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import re
 import struct
 from typing import NamedTuple
 
@@ -131,9 +132,17 @@
 
 
 def _has_valid_frame_from(data: bytes, start: int) -> bool:
-    """Return whether a valid frame starts at an offset or anywhere after it."""
-    offsets = range(start, len(data) - FRAME_HEADER_BYTES)
-    return any(_read_payload(data, place) is not None for place in offsets)
+    """Return whether a valid frame starts at an offset or anywhere after it.
+
+    Only places where a payload length could stand that fits into the data are tried:
+    its highest byte is bounded and it is not zero.
+    """
+    longest = len(data) - start
+    starts = re.compile(
+        rb"(?!\0{4})[\0-" + re.escape(bytes([min(longest >> 24, 255)])) + b"]"
+    )
+    found = (match.start() for match in starts.finditer(data, start))
+    return any(_read_payload(data, place) is not None for place in found)
 
 
 def _has_zeroed_sector(data: bytes, start: int) -> bool:
--- a/libs/storage/tests/test_damage.py
+++ b/libs/storage/tests/test_damage.py
@@ -188,3 +188,25 @@
     assert opened.error.code == "folder-of-another"
     assert "move this data folder away" in opened.error.detail
     assert contents(disk) == before
+
+
+PIECES = st.lists(
+    st.one_of(
+        st.binary(max_size=30),
+        st.integers(0, 40).map(bytes),
+        st.sampled_from([b"\0\0\0\1", b"\0\0\1\0", b"\1" * 13, b"frame"]),
+    ),
+    max_size=6,
+)
+
+
+# Guards against a search for a whole frame that is fast because it misses one.
+@given(PIECES, st.integers(0, 60))
+def test_a_whole_frame_is_found_wherever_one_starts(pieces, start):
+    data = b""
+    for piece in pieces:
+        data += frames.encode_frame(piece, len(data)) if piece == b"frame" else piece
+    start = min(start, len(data))
+    places = range(start, len(data) - frames.FRAME_HEADER_BYTES)
+    expected = any(frames._read_payload(data, place) is not None for place in places)
+    assert frames._has_valid_frame_from(data, start) == expected
