Bound the connections of a server and the bytes that they hold

Callers saw nothing yet; other operators saw programs end for memory or descriptors. A control VM took any number of connections, each with up to 1 MB of body under way for as long as bytes trickled in, and as much again in answers that nobody read: 300 MB and 4,096 descriptors are gone with 300 slow bodies or 4,000 idle callers. A line about bytes that are no call could be as long as what was sent (36,035 characters in the test).

Where there is no room, or no descriptor, the connection that has waited longest for its caller is closed, so that slow and idle callers keep no sound one out. A call must have arrived in full in 30 s.

Ruled out: refusing new connections at the bound, as slow callers would then keep sound ones out; shorter timeouts alone, as sound calls of 1 MB over a slow link need their time.

--- a/libs/daemons/src/kumquatmux_daemons/plain_http/server.py
+++ b/libs/daemons/src/kumquatmux_daemons/plain_http/server.py
@@ -12,6 +12,11 @@
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import Endpoint
+from kumquatmux_daemons.plain_http.connections import (
+    Connections,
+    DisplacedError,
+    Place,
+)
 
 BACKLOG = 512
 READ_BYTES = 65_536
@@ -21,6 +26,12 @@
 IDLE_S = 30.0
 """Seconds a connection may wait for its next call, or a call for its next bytes."""
 
+CALL_S = 30.0
+"""Seconds in which a call has to arrive in full."""
+
+DETAIL_CHARACTERS = 200
+"""Longest text of an error in a line, which may quote what was received."""
+
 
 class HttpCall(NamedTuple):
     """One call.
@@ -94,6 +105,7 @@
     bound = listen(bind)
     listener = trio.socket.from_stdlib_socket(bound)
     shutdown = shutdown or Shutdown()
+    connections = Connections()
     async with trio.open_nursery() as nursery:
         accepting = trio.CancelScope()
         nursery.start_soon(shutdown.close_idle, accepting)
@@ -103,13 +115,16 @@
                     connection, _ = await listener.accept()
                 except OSError as error:
                     log_decision("accept-failed", endpoint=bind, problem=error)
+                    connections.displace_one()
                     await trio.sleep(0.1)
                     continue
                 stream = trio.SocketStream(connection)
-                nursery.start_soon(serve_connection, stream, handler, shutdown)
+                nursery.start_soon(
+                    serve_connection, stream, handler, shutdown, connections
+                )
         for connection in _close_listener(bound):
             stream = trio.SocketStream(connection)
-            nursery.start_soon(serve_connection, stream, handler, shutdown)
+            nursery.start_soon(serve_connection, stream, handler, shutdown, connections)
 
 
 def _close_listener(listener: socket.socket) -> list[trio.socket.SocketType]:
@@ -134,82 +149,107 @@
 
 
 async def serve_connection(
-    stream: trio.abc.Stream, handler: Handler, shutdown: Shutdown
+    stream: trio.abc.Stream,
+    handler: Handler,
+    shutdown: Shutdown,
+    connections: Connections | None = None,
 ) -> None:
     """Serve the calls of one connection, one after the other."""
+    connections = connections or Connections()
     connection = h11.Connection(h11.SERVER)
     try:
         async with stream:
-            while (
-                await serve_call(stream, connection, handler, shutdown)
-                and not shutdown.requested.is_set()
-            ):
-                connection.start_next_cycle()
+            with connections.opened() as place:
+                caller = Caller(stream, connection, place)
+                while (
+                    await serve_call(caller, handler, shutdown)
+                    and not shutdown.requested.is_set()
+                ):
+                    connection.start_next_cycle()
     except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
         # The caller went away or fell silent: it calls again if it needs an answer.
         return
+    except DisplacedError:
+        log_decision("call-unread", problem="displaced by other connections")
     except (h11.RemoteProtocolError, h11.LocalProtocolError) as error:
-        log_decision("call-unread", problem=error)
+        log_decision("call-unread", problem=str(error)[:DETAIL_CHARACTERS])
 
 
-async def serve_call(
-    stream: trio.abc.Stream,
-    connection: h11.Connection,
-    handler: Handler,
-    shutdown: Shutdown,
-) -> bool:
+class Caller(NamedTuple):
+    """The other end of a connection.
+
+    Attributes:
+        stream: Its bytes.
+        connection: The state of the protocol.
+        place: What the connection occupies.
+    """
+
+    stream: trio.abc.Stream
+    connection: h11.Connection
+    place: Place
+
+
+async def serve_call(caller: Caller, handler: Handler, shutdown: Shutdown) -> bool:
     """Serve one call; return whether another one may follow."""
-    request: h11.Request | None = None
+    request = await _first_event(caller, shutdown)
+    if not isinstance(request, h11.Request):
+        return False
+    with trio.fail_after(CALL_S):
+        body = await _read_body(caller)
+    if body is None:
+        return False
+    if len(body) > BODY_BYTES:
+        await _send(caller, HttpAnswer(413))
+        return False
+    call = HttpCall(request.method.decode(), request.target.decode(), body)
+    answer = await handler(call)
+    caller.place.release()
+    await _send(caller, answer)
+    connection = caller.connection
+    return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
+
+async def _read_body(caller: Caller) -> bytes | None:
+    """Return the body of a call, its begin if it is too long, None if it broke off."""
     body = bytearray()
-    while True:
-        if request is None:
-            event = await _first_event(stream, connection, shutdown)
-        else:
-            event = await _next_event(stream, connection)
-        if isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > BODY_BYTES:
-                await _send(stream, connection, HttpAnswer(413))
-                return False
-        elif isinstance(event, h11.EndOfMessage) and request is not None:
+    while len(body) <= BODY_BYTES:
+        event = await _next_event(caller)
+        if isinstance(event, h11.EndOfMessage):
             break
-        else:
-            return False
-    call = HttpCall(request.method.decode(), request.target.decode(), bytes(body))
-    await _send(stream, connection, await handler(call))
-    return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+        if not isinstance(event, h11.Data):
+            return None
+        caller.place.hold(len(event.data))
+        body += event.data
+    return bytes(body)
 
 
-async def _first_event(
-    stream: trio.abc.Stream, connection: h11.Connection, shutdown: Shutdown
-) -> object:
+async def _first_event(caller: Caller, shutdown: Shutdown) -> object:
     """Return the event that begins a call, None if a shutdown ends the waiting."""
     with trio.CancelScope() as idle:
         shutdown.idle.add(idle)
         try:
-            return await _next_event(stream, connection)
+            return await _next_event(caller)
         finally:
             shutdown.idle.discard(idle)
     return None
 
 
-async def _next_event(stream: trio.abc.Stream, connection: h11.Connection) -> object:
+async def _next_event(caller: Caller) -> object:
+    connection = caller.connection
     while True:
         event = connection.next_event()
         if event is not h11.NEED_DATA:
             return event
-        if connection.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            await stream.send_all(connection.send(go_on) or b"")
-        with trio.fail_after(IDLE_S):
-            connection.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+        with caller.place.waiting(), trio.fail_after(IDLE_S):
+            if connection.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                await caller.stream.send_all(connection.send(go_on) or b"")
+            received = await caller.stream.receive_some(READ_BYTES)
+        connection.receive_data(bytes(received))
 
 
-async def _send(
-    stream: trio.abc.Stream, connection: h11.Connection, answer: HttpAnswer
-) -> None:
+async def _send(caller: Caller, answer: HttpAnswer) -> None:
+    connection = caller.connection
     headers = [("Content-Length", str(len(answer.body)))]
     if answer.body:
         headers.append(("Content-Type", answer.content_type))
@@ -222,5 +262,7 @@
     if answer.body:
         data += connection.send(h11.Data(data=answer.body)) or b""
     data += connection.send(h11.EndOfMessage()) or b""
-    with trio.fail_after(IDLE_S):
-        await stream.send_all(data)
+    caller.place.hold(len(data))
+    with caller.place.waiting(), trio.fail_after(IDLE_S):
+        await caller.stream.send_all(data)
+    caller.place.release()
