Answer 500 where the reading or writing of one call fails

Callers saw: any error that the program had not foreseen while it read one call ended it, and with it all other calls, again at the next VM as the call was repeated.

Cause: each call is a task of the one nursery. Errors in the format of calls, which hold no state, now fail that call with 500 and a line (`call-failed`). Errors in the decisions and the replicated log still stop the process. Methods are counted under three names and `other`, as each method that a caller invents was a count and a histogram for ever; paths in lines are cut at 200 characters.

Ruled out: a guard around the whole call, which would hide a broken invariant.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -61,6 +61,13 @@
 """Longest seconds after that in which the calls that arrived get their answers."""
 
 
+METHODS = frozenset(["GET", "PUT", "DELETE"])
+"""Methods that are counted under their names."""
+
+QUOTED_CHARACTERS = 200
+"""Longest text in a line that quotes a call."""
+
+
 class RegistrarParts(NamedTuple):
     """What a registrar is made of.
 
@@ -231,33 +238,58 @@
 
 
 def calls_handler(desk: Desk, parts: RegistrarParts) -> Any:
-    """Return what answers calls of operators and backend servers."""
+    """Return what answers calls of operators and backend servers.
+
+    An error of this program while it reads a call or writes its answer fails that call
+    only. One while it acts on a call stops the process, as what it holds may be wrong.
+    """
 
     async def handle(call: HttpCall) -> HttpAnswer:
         started = trio.current_time()
-        read = parts.format.read_call(call)
+        try:
+            read = parts.format.read_call(call)
+        except Exception as error:
+            return _failed(call, error)
         if read.is_error():
             answer = Answer(Outcome.REFUSED, problem=read.error)
         else:
             answer = await desk.ask(read.ok)
-        desk.counts[f"calls.{call.method}.{answer.outcome}".lower()] += 1
-        desk.latencies.record(
-            f"call.{call.method}".lower(), trio.current_time() - started
-        )
+        _count(desk, call, answer, trio.current_time() - started)
         if answer.outcome != Outcome.DONE or read.is_error():
             log_decision(
                 "call-answered",
-                method=call.method,
-                target=call.target,
+                method=call.method[:QUOTED_CHARACTERS],
+                target=call.target[:QUOTED_CHARACTERS],
                 outcome=answer.outcome,
                 problem=answer.problem,
                 leader=answer.leader,
             )
-        return parts.format.write_answer(call, answer)
+        try:
+            return parts.format.write_answer(call, answer)
+        except Exception as error:
+            return _failed(call, error)
 
     return handle
 
 
+def _failed(call: HttpCall, error: Exception) -> HttpAnswer:
+    """Log an error of this program's own; return the answer to the call."""
+    log_decision(
+        "call-failed",
+        method=call.method[:QUOTED_CHARACTERS],
+        target=call.target[:QUOTED_CHARACTERS],
+        error=type(error).__name__,
+        detail=str(error)[:QUOTED_CHARACTERS],
+    )
+    return HttpAnswer(500)
+
+
+def _count(desk: Desk, call: HttpCall, answer: Answer, elapsed_s: float) -> None:
+    method = call.method if call.method in METHODS else "other"
+    desk.counts[f"calls.{method}.{answer.outcome}".lower()] += 1
+    desk.latencies.record(f"call.{method}".lower(), elapsed_s)
+
+
 def metrics_handler(desk: Desk, parts: RegistrarParts) -> Any:
     """Return what answers with the metrics."""
 
