Test that a folder with a long number in it opens again

A check of documents at the start, or a change of their encoding, could keep a control VM with a version of more than 64 bits from starting.

--- a/libs/daemons/tests/test_registrar_core.py
+++ b/libs/daemons/tests/test_registrar_core.py
@@ -8,6 +8,7 @@
 import pytest
 
 from kumquatmux_agreement.entries import ReplicaId, founding_state
+from kumquatmux_agreement.events import Propose
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_daemons.registrar.agreed import Agreed
@@ -18,10 +19,12 @@
     ReportCall,
 )
 from kumquatmux_daemons.registrar.core import Answered, CoreParts, RegistrarCore
+from kumquatmux_daemons.registrar.daemon import open_store, replica_settings
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_registry.saved import SavedServers
+from kumquatmux_settings.documents import NumberedDocument, entry_of
 from kumquatmux_storage import Identity, open_or_create
 from kumquatmux_storage.memory import MemoryDisk
 
@@ -88,6 +91,26 @@
     assert again.publisher.document.number == number
 
 
+# Guards against a data folder that cannot be opened again for a long number in it.
+def test_a_folder_with_a_document_under_a_long_number_is_opened_again(tmp_path):
+    settings = SETTINGS._replace(folder=tmp_path)
+    store = open_store(settings).ok
+    agreed = Agreed(replica_settings(settings, store), store, Random(1))
+    for step in range(200):
+        agreed.tick(step * 0.05)
+    entry = entry_of(NumberedDocument(20261204090000123456789, b"content"))
+    agreed.give(Propose(entry, "t"), 10.0)
+    assert agreed.documents.newest.content == b"content"
+    store.disk.close()
+    opened = open_store(settings)
+    assert opened.is_ok()
+    again = Agreed(replica_settings(settings, opened.ok), opened.ok, Random(1))
+    for step in range(200):
+        again.tick(20.0 + step * 0.05)
+    assert again.documents.newest == agreed.documents.newest
+    opened.ok.disk.close()
+
+
 # Guards against servers that are bounded by the services of no document.
 def test_the_services_of_the_document_in_force_are_those_named():
     core = start(MemoryDisk())
