Refuse terms, entries and chunks that cannot be part of a replicated log

Seen by callers: nothing yet; found with generated messages. A member's message with a term of 2^64 - 1 ended a control VM (OverflowError when it wrote the term that follows), and entries with a gap did (AssertionError). Both come from one message and say nothing about the log of who takes it.

The new tests failed before the change: 12 of them as such messages were taken, and with the intake alone `assert < 100` for the term after a message of term 2^63 - 1.

The replica leaves a message whose term is more than 2^32 ahead, as no cluster holds that many elections, and one near the limit would stop all that follow (libs/agreement, replica.py: the smallest change there).

--- a/libs/agreement/src/kumquatmux_agreement/replica.py
+++ b/libs/agreement/src/kumquatmux_agreement/replica.py
@@ -43,6 +43,12 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.problems import Problem
 
+MAX_TERM_STEP = 1 << 32
+"""Terms that a message may be ahead; no cluster holds that many elections.
+
+A later term would come so near the largest number that no election could follow it.
+"""
+
 MAX_RETAINED_COMPACTIONS = 16
 """Limit on entries retained during a snapshot transfer, in compaction intervals."""
 
@@ -208,6 +214,9 @@
         elif message.to == self.core.replica_id and self.core.accepts_cluster(
             message.cluster
         ):
+            if message.term - self.core.term > MAX_TERM_STEP:
+                log_decision("term-refused", sender=message.sender, term=message.term)
+                return
             self.handle_message(message)
 
     @singledispatchmethod
--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -13,6 +13,18 @@
 
 from expression import Error, Ok, Result
 
+from kumquatmux_agreement.entries import Configuration
+from kumquatmux_agreement.messages import (
+    AppendReply,
+    AppendRequest,
+    JoinRequest,
+    SnapshotChunk,
+    SnapshotReply,
+    StandNow,
+    VoteReply,
+    VoteRequest,
+)
+from kumquatmux_agreement.messages import Message as ReplicaMessage
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId, is_ip_number, is_sendable
 from kumquatmux_core.problems import Problem
@@ -43,6 +55,16 @@
 MAX_VMS = 4096
 """Most VMs in one list."""
 
+MAX_MEMBER_TEXTS = 1024
+"""Most names in a configuration of the replicated log."""
+
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
+OUT_OF_BOUNDS = "a field is out of bounds"
+ElectionMessage = (
+    VoteRequest | VoteReply | AppendReply | SnapshotReply | JoinRequest | StandNow
+)
+"""Messages between replicas that carry no entries and no snapshot."""
+
 
 def take_in(source_ip: str, message: Any) -> Result[Any, Problem]:
     """Return what may be used of a message.
@@ -75,7 +97,7 @@
         or not _are_numbers(numbers)
         or not _are_texts((message.zone,))
     ):
-        return _refused("a field is out of bounds")
+        return _refused(OUT_OF_BOUNDS)
     return Ok(message)
 
 
@@ -87,7 +109,7 @@
         or not _are_numbers(numbers)
         or not _are_texts((message.zone,))
     ):
-        return _refused("a field is out of bounds")
+        return _refused(OUT_OF_BOUNDS)
     return Ok(
         message._replace(
             records=tuple(filter(_is_taken, message.records)),
@@ -126,7 +148,7 @@
         and len(message.tried_tokens) <= MAX_TRIED_TOKENS
         and _are_tokens(message.tried_tokens)
     )
-    return Ok(message) if is_sound else _refused("a field is out of bounds")
+    return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
 
 
 @_take_in.register
@@ -136,7 +158,39 @@
         and _are_tokens((message.token,))
         and _are_numbers((message.reservation_number,))
     )
-    return Ok(message) if is_sound else _refused("a field is out of bounds")
+    return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
+
+
+@_take_in.register
+def _(message: ElectionMessage) -> Result[Any, Problem]:
+    return Ok(message) if _are_fields_bounded(message) else _refused(OUT_OF_BOUNDS)
+
+
+@_take_in.register
+def _(message: AppendRequest) -> Result[Any, Problem]:
+    if not _are_fields_bounded(message):
+        return _refused(OUT_OF_BOUNDS)
+    last_term = message.previous_term
+    for log_index, entry in enumerate(message.entries, message.previous_index + 1):
+        if entry.log_index != log_index or not last_term <= entry.term <= message.term:
+            return _refused("its entries do not follow one another")
+        last_term = entry.term
+    configurations = [entry.configuration for entry in message.entries]
+    if not all(one is None or _is_configuration(one) for one in configurations):
+        return _refused("it has too many members")
+    return Ok(message)
+
+
+@_take_in.register
+def _(message: SnapshotChunk) -> Result[Any, Problem]:
+    end = message.offset + len(message.data)
+    is_sound = (
+        _are_fields_bounded(message)
+        and end <= message.total_bytes <= MAX_SNAPSHOT_BYTES
+        and message.log_term <= message.term
+        and _is_configuration(message.configuration)
+    )
+    return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
 
 
 def record_problem(record: ServerRecord) -> str:
@@ -192,5 +246,20 @@
     return all(len(text) <= MAX_TEXT_CHARACTERS for text in texts)
 
 
+def _are_fields_bounded(message: ReplicaMessage) -> bool:
+    """Return whether the numbers and the names of a replica's message are in bounds.
+
+    A term is counted on from, so that one next to the limit must not get in.
+    """
+    numbers = [value for value in message if isinstance(value, int)]
+    return _are_numbers(numbers) and _are_texts((message.cluster, *message.sender))
+
+
+def _is_configuration(configuration: Configuration) -> bool:
+    texts = [text for member in configuration.members for text in member]
+    texts += [configuration.origin, *configuration.wanted_vms]
+    return len(texts) <= MAX_MEMBER_TEXTS and _are_texts(texts)
+
+
 def _refused(detail: str) -> Result[Any, Problem]:
     return Error(Problem("message-refused", detail))
--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -12,9 +12,20 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from kumquatmux_agreement.entries import ReplicaId, founding_state
+from kumquatmux_agreement.entries import (
+    Configuration,
+    Entry,
+    EntryKind,
+    ReplicaId,
+    founding_state,
+)
 from kumquatmux_agreement.messages import MESSAGE_TYPES as REPLICA_MESSAGES
-from kumquatmux_agreement.messages import JoinRequest
+from kumquatmux_agreement.messages import (
+    AppendRequest,
+    JoinRequest,
+    SnapshotChunk,
+    VoteReply,
+)
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core import decisions
 from kumquatmux_core.codec import PROTOCOL_VERSION, registry
@@ -480,3 +491,60 @@
     monkeypatch.setattr(core.leases, "merge", merge)
     core.message(PEER, make_answer(*map(make_record, (1, 2, 3))), 1.0)
     assert set(core.leases.table.held) == {"i-1", "i-3"}
+
+
+ME = ReplicaId("10.0.0.1", "f")
+OTHER = ReplicaId(PEER, "g")
+
+
+def entry_at(log_index, term=1, configuration=None):
+    kind = EntryKind.CONFIGURATION if configuration else EntryKind.DATA
+    return Entry(log_index, term, kind, b"", configuration)
+
+
+# Guards against: a term next to the limit, which the next election could not store, so
+# that the control VM ended and each later start of it as well.
+def test_a_term_out_of_bounds_is_refused():
+    core = make_control()
+    for term in (1 << 63, (1 << 64) - 1, 1 << 80, -1):
+        reply = VoteReply("registrar/f", OTHER, ME, term, True, False)
+        taken = take_in(PEER, reply)
+        assert taken.error.code == "message-refused"
+    highest = VoteReply("registrar/f", OTHER, ME, NUMBER_LIMIT - 1, True, False)
+    core.message(PEER, take_in(PEER, highest).ok, 1.0)
+    for step in range(30):
+        core.tick(1.0 + 0.3 * step)
+    assert core.agreed.is_leader
+    assert core.agreed.replica.core.term < 100
+
+
+# Guards against: entries with gaps, which the log took for a broken invariant.
+@pytest.mark.parametrize(
+    "entries",
+    [
+        (entry_at(7),),
+        (entry_at(6), entry_at(8)),
+        (entry_at(6), entry_at(6)),
+        (entry_at(6, 9),),
+        (entry_at(6, 2), entry_at(7, 1)),
+        (entry_at(6, 0),),
+        (entry_at(6, 1, Configuration((), (OTHER,) * 9000)),),
+    ],
+)
+def test_entries_that_do_not_follow_one_another_are_refused(entries):
+    request = AppendRequest("registrar/f", OTHER, ME, 3, 5, 1, entries, 0, 1)
+    assert take_in(PEER, request).error.code == "message-refused"
+    follows = (entry_at(6), entry_at(7, 3), entry_at(8, 3))
+    assert take_in(PEER, request._replace(entries=follows)).is_ok()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"offset": 5}, {"total_bytes": 1 << 40}, {"log_term": 9}, {"offset": -1}],
+)
+def test_a_chunk_beyond_its_snapshot_is_refused(changes):
+    chunk = SnapshotChunk(
+        "registrar/f", OTHER, ME, 3, 5, 1, Configuration((), ()), 0, 4, b"four", 1
+    )
+    assert take_in(PEER, chunk).is_ok()
+    assert take_in(PEER, chunk._replace(**changes)).is_error()
