--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -126,3 +126,24 @@
     assert (ended.returncode, ended.stderr) == (0, "")
     events = [json.loads(line)["event"] for line in ended.stdout.splitlines()]
     assert events == ["launched", "stopped"]
+
+
+# Guards against a traceback in place of what to do, with libraries of another machine.
+@pytest.mark.parametrize("program", programs.PROGRAMS)
+def test_a_library_that_cannot_be_loaded_is_told_in_one_line(tmp_path, program):
+    (tmp_path / "msgspec.py").write_text("raise ImportError('invalid\\nELF header')\n")
+    path = os.pathsep.join([str(tmp_path), *filter(None, sys.path)])
+    command = [sys.executable, "-m", "kumquatmux_platform", program]
+    ended = subprocess.run(
+        command, capture_output=True, text=True, env={**os.environ, "PYTHONPATH": path}
+    )
+    assert ended.returncode == 70
+    assert ended.stderr.count("\n") == 1
+    assert "invalid ELF header" in ended.stderr and "deploy/build.sh" in ended.stderr
+
+
+def test_a_python_that_is_too_old_is_told_in_one_line(monkeypatch, capsys):
+    monkeypatch.setattr(programs, "OLDEST_PYTHON", (9, 9))
+    assert programs.main(["entry"]) == 70
+    told = capsys.readouterr().err
+    assert "Python 9.9 or newer is needed" in told and told.count("\n") == 1
