Keep sockets off the numbers of the standard streams

Seen by callers: a program started without standard output wrote its log lines to whatever got descriptor 1: the event loop's, or a socket. Cause: the lowest free number goes to what is opened next.

--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -147,3 +147,24 @@
     assert programs.main(["entry"]) == 70
     told = capsys.readouterr().err
     assert "Python 9.9 or newer is needed" in told and told.count("\n") == 1
+
+
+WITHOUT_DESCRIPTORS = """
+import os, sys
+for descriptor in {closed}:
+    os.close(descriptor)
+from kumquatmux_platform import __main__ as programs
+programs.main(["check"])
+opened = os.open(os.devnull, os.O_RDONLY)
+with open({told!r}, "w") as file:
+    file.write(str(opened))
+"""
+
+
+# Guards against log lines that are written to a socket with the number of a stream.
+@pytest.mark.parametrize("closed", [(0,), (1,), (2,), (0, 1, 2)])
+def test_a_socket_never_gets_the_number_of_a_standard_stream(tmp_path, closed):
+    told = tmp_path / "told"
+    code = WITHOUT_DESCRIPTORS.format(closed=closed, told=str(told))
+    subprocess.run([sys.executable, "-c", code], check=True, capture_output=True)
+    assert int(told.read_text()) > 2
