Let no late signal or closed stream change an exit code

Seen by callers: a program that had stopped gracefully could still end with -1 or -15, and one with bad settings whose standard error nobody read ended with 120. Cause: the interpreter's own end gives signals back their first meaning and takes tens of milliseconds; it also flushes streams and turns a failure there into its own code.

--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -168,3 +168,37 @@
     code = WITHOUT_DESCRIPTORS.format(closed=closed, told=str(told))
     subprocess.run([sys.executable, "-c", code], check=True, capture_output=True)
     assert int(told.read_text()) > 2
+
+
+SIGNAL_AT_THE_END = """
+import builtins, runpy, signal, sys
+class Late:
+    def __del__(self):
+        signal.raise_signal({number})
+builtins.late = Late()
+sys.argv = ["kumquatmux_platform", "{program}"]
+runpy.run_module("kumquatmux_platform", run_name="__main__")
+"""
+
+
+# Guards against a program that has stopped and is ended by one more signal.
+@pytest.mark.parametrize("number", SIGNALS)
+def test_a_signal_at_the_very_end_changes_no_exit_code(tmp_path, number):
+    code = SIGNAL_AT_THE_END.format(program="entry", number=int(number))
+    missing = tmp_path / "settings.json"
+    environment = {**os.environ, "KUMQUATMUX_NODE_FILE": str(missing)}
+    command = [sys.executable, "-c", code]
+    ended = subprocess.run(command, capture_output=True, text=True, env=environment)
+    assert ended.returncode == 2
+    assert ended.stderr.count("\n") == 1 and str(missing) in ended.stderr
+
+
+# Guards against an exit code of the interpreter's in place of the program's.
+def test_a_stream_without_a_reader_changes_no_exit_code(tmp_path):
+    reader, writer = os.pipe()
+    os.close(reader)
+    environment = {**os.environ, "KUMQUATMUX_NODE_FILE": str(tmp_path / "none")}
+    command = [sys.executable, "-m", "kumquatmux_platform", "entry"]
+    ended = subprocess.run(command, stdout=writer, stderr=writer, env=environment)
+    os.close(writer)
+    assert ended.returncode == 2
