--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -126,3 +126,79 @@
     assert (ended.returncode, ended.stderr) == (0, "")
     events = [json.loads(line)["event"] for line in ended.stdout.splitlines()]
     assert events == ["launched", "stopped"]
+
+
+# Guards against a traceback in place of what to do, with libraries of another machine.
+@pytest.mark.parametrize("program", programs.PROGRAMS)
+def test_a_library_that_cannot_be_loaded_is_told_in_one_line(tmp_path, program):
+    (tmp_path / "msgspec.py").write_text("raise ImportError('invalid\\nELF header')\n")
+    path = os.pathsep.join([str(tmp_path), *filter(None, sys.path)])
+    command = [sys.executable, "-m", "kumquatmux_platform", program]
+    ended = subprocess.run(
+        command, capture_output=True, text=True, env={**os.environ, "PYTHONPATH": path}
+    )
+    assert ended.returncode == 70
+    assert ended.stderr.count("\n") == 1
+    assert "invalid ELF header" in ended.stderr and "deploy/build.sh" in ended.stderr
+
+
+def test_a_python_that_is_too_old_is_told_in_one_line(monkeypatch, capsys):
+    monkeypatch.setattr(programs, "OLDEST_PYTHON", (9, 9))
+    assert programs.main(["entry"]) == 70
+    told = capsys.readouterr().err
+    assert "Python 9.9 or newer is needed" in told and told.count("\n") == 1
+
+
+WITHOUT_DESCRIPTORS = """
+import os, sys
+for descriptor in {closed}:
+    os.close(descriptor)
+from kumquatmux_platform import __main__ as programs
+programs.main(["check"])
+opened = os.open(os.devnull, os.O_RDONLY)
+with open({told!r}, "w") as file:
+    file.write(str(opened))
+"""
+
+
+# Guards against log lines that are written to a socket with the number of a stream.
+@pytest.mark.parametrize("closed", [(0,), (1,), (2,), (0, 1, 2)])
+def test_a_socket_never_gets_the_number_of_a_standard_stream(tmp_path, closed):
+    told = tmp_path / "told"
+    code = WITHOUT_DESCRIPTORS.format(closed=closed, told=str(told))
+    subprocess.run([sys.executable, "-c", code], check=True, capture_output=True)
+    assert int(told.read_text()) > 2
+
+
+SIGNAL_AT_THE_END = """
+import builtins, runpy, signal, sys
+class Late:
+    def __del__(self):
+        signal.raise_signal({number})
+builtins.late = Late()
+sys.argv = ["kumquatmux_platform", "{program}"]
+runpy.run_module("kumquatmux_platform", run_name="__main__")
+"""
+
+
+# Guards against a program that has stopped and is ended by one more signal.
+@pytest.mark.parametrize("number", SIGNALS)
+def test_a_signal_at_the_very_end_changes_no_exit_code(tmp_path, number):
+    code = SIGNAL_AT_THE_END.format(program="entry", number=int(number))
+    missing = tmp_path / "settings.json"
+    environment = {**os.environ, "KUMQUATMUX_NODE_FILE": str(missing)}
+    command = [sys.executable, "-c", code]
+    ended = subprocess.run(command, capture_output=True, text=True, env=environment)
+    assert ended.returncode == 2
+    assert ended.stderr.count("\n") == 1 and str(missing) in ended.stderr
+
+
+# Guards against an exit code of the interpreter's in place of the program's.
+def test_a_stream_without_a_reader_changes_no_exit_code(tmp_path):
+    reader, writer = os.pipe()
+    os.close(reader)
+    environment = {**os.environ, "KUMQUATMUX_NODE_FILE": str(tmp_path / "none")}
+    command = [sys.executable, "-m", "kumquatmux_platform", "entry"]
+    ended = subprocess.run(command, stdout=writer, stderr=writer, env=environment)
+    os.close(writer)
+    assert ended.returncode == 2
