Let a service that is not named take nothing from a server in use

Callers saw: flows of a sound server reset. A report of another writer, of a service that the manifest does not name, under a sound server's id or address and with a later `born`, was taken for its successor: the sound server was ended at every VM.

Such a report is now refused (`other-server`, 400), and a record of it from another VM left out, while the server that has the id or address is of a named service and neither late nor ended. Where records were left out, a control VM asks the others for all of theirs again once a manifest names other services, so that none stays unknown for good.

Before the change the 4 new tests of the leases failed (taken from a report and from another VM, by name and by address). Ruled out: refusing all services that are not named, as servers report before the first manifest. Still open: a sound form of a named service with another's id or address and a later `born` cannot be told from a restart.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -274,7 +274,7 @@
         self.publisher.is_current = self.agreed.is_current()
         if newest.number > self.publisher.document.number:
             self.publisher.document = Document(newest.number, newest.content)
-            self.leases.set_named_services(self.services_of(newest.content))
+            self._name_services(self.services_of(newest.content))
             self._push(now)
         sends = self.agreed.sends
         self.out.extend(Sent(one.vm, one.message) for one in sends)
@@ -283,6 +283,15 @@
         self.out = []
         return out
 
+    def _name_services(self, services: frozenset[ServiceName]) -> None:
+        """Take the services of a document; be told again of servers left out so far."""
+        is_changed = services != self.leases.named_services
+        self.leases.set_named_services(services)
+        if is_changed and self.leases.has_left_out:
+            self.leases.has_left_out = False
+            for source in self.follower.sources.values():
+                source.position = 0
+
     def _answer_replies(self) -> None:
         replies = self.agreed.replies
         self.agreed.replies = []
--- a/libs/daemons/tests/test_registrar_core.py
+++ b/libs/daemons/tests/test_registrar_core.py
@@ -119,6 +119,22 @@
     assert core.leases.named_services == {b"entries"}
 
 
+# Guards against a server that stays unknown here as its service was named later.
+def test_servers_left_out_are_asked_for_again_once_other_services_are_named():
+    core = start(MemoryDisk())
+    answer_to(core, PutDocument(7, b"entries"))
+    core.leases.named_services = frozenset(["entries"])
+    answer_to(core, ReportCall(REPORT))
+    other = REPORT._replace(lifetime=Lifetime("i-2", 9), service="pagesetter")
+    record = ServerRecord(other, OTHER)
+    answer = FeedAnswer(OTHER, "a", 1, 0, 6, (record,), 0, b"", (OTHER,), (), True)
+    core.message(OTHER, answer, 11.0)
+    assert list(core.leases.table.held) == ["i-1"]
+    assert core.follower.sources[OTHER].position == 6
+    answer_to(core, PutDocument(8, b"pagesetter"), 12.0)
+    assert core.follower.sources[OTHER].position == 0
+
+
 # Guards against one odd record of another VM that hides those after it.
 def test_an_odd_record_of_another_vm_hides_no_other():
     core = start(MemoryDisk())
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -27,6 +27,8 @@
             in seconds of the monotonic clock.
         named_services: Services that the settings document names; empty while there
             is no document.
+        has_left_out: Whether a server that another VM told of was left out since the
+            services were named.
     """
 
     def __init__(self, settings: RegistrySettings, own_vm: VmId) -> None:
@@ -36,16 +38,21 @@
         self.last_report_at: dict[str, float] = {}
         self.last_holder_message_at: dict[VmId, float] = {}
         self.named_services: frozenset[ServiceName] = frozenset()
+        self.has_left_out = False
 
     def report(self, report: Report, now: float) -> Result[bool, Problem]:
         """Process a report; return whether the other VMs must be told of the change.
 
         Errors:
             ``other-server`` if the service, endpoint or zone of a known lifetime
-            changed, ``too-many-servers`` if the server is not known and there is no
-            room for it.
+            changed, or if a server of a service that is not named takes the name or
+            endpoint of one in use; ``too-many-servers`` if the server is not known and
+            there is no room for it.
         """
         name = report.lifetime.name
+        if self._takes_from_one_in_use(report):
+            detail = f"reports {report.service}, which is not named, in place of it"
+            return Error(Problem("other-server", detail, name))
         existing = self.table.get(name)
         if existing is None and not self._make_room(report.service):
             return Error(Problem("too-many-servers", "ask again later", name))
@@ -91,7 +98,9 @@
             log_decision("servers-unread", problem=problem, holder=record.holder[:64])
             return False
         is_known = record.report.lifetime.name in self.table.held
-        if not is_known and not self._admits(record):
+        is_refused = self._takes_from_one_in_use(record.report)
+        if is_refused or not is_known and not self._admits(record):
+            self.has_left_out = True
             return False
         changed = bool(self.table.merge(record, now))
         if record.is_late and self._can_refute(record, now):
@@ -131,6 +140,19 @@
         for name in unnamed[: max(surplus, 0)]:
             self._forget(name)
 
+    def _takes_from_one_in_use(self, report: Report) -> bool:
+        """Return whether a server that is not named takes what a server in use has."""
+        if self._is_named(report.service):
+            return False
+        names = (report.lifetime.name, self.table.name_by_endpoint.get(report.endpoint))
+        return any(self._is_in_use(name) for name in names)
+
+    def _is_in_use(self, name: str | None) -> bool:
+        entry = self.table.held.get(name) if name is not None else None
+        if entry is None or _is_unused(entry.record):
+            return False
+        return self._is_named(entry.record.report.service)
+
     def _admits(self, record: ServerRecord) -> bool:
         """Return whether a server that another VM tells of may be stored.
 
--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -260,3 +260,25 @@
         services = [entry.record.report.service for entry in leases.table.held.values()]
         assert leases.table.count_by_service == Counter(services)
         assert len(services) <= BOUNDED.max_records
+
+
+# Guards against a report of a service that isn't named and that ends a sound server.
+@pytest.mark.parametrize("taken", ["name", "address"])
+@pytest.mark.parametrize("source", ["report", "other VM"])
+def test_a_server_that_is_not_named_takes_nothing_from_one_in_use(taken, source):
+    leases = bounded_leases()
+    assert report_server(leases, 1)
+    sound = leases.table.get("i-1")
+    odd = make_report(
+        lifetime=Lifetime("i-1" if taken == "name" else "i-2", 99),
+        endpoint=Endpoint("10.0.0.9", 1 if taken == "address" else 2),
+        service="nosuch",
+    )
+    if source == "report":
+        assert leases.report(odd, 1.0).error.code == "other-server"
+    else:
+        assert leases.merge(ServerRecord(odd, "c2"), 1.0) is False
+    assert list(leases.table.held.values()) == [leases.table.held["i-1"]]
+    assert leases.table.get("i-1") == sound
+    leases.leave("i-1", 2.0)
+    assert leases.report(odd, 3.0).ok is True
