Track the load of 400,000 flows at most

Each packet with a known token makes an entry for its addresses, which stays for 15 s. A stream of packets with ever other addresses fills the memory of an entry VM (300 MB), which is then killed.

Change: beyond that number packets are routed as before, by their token or by a new placement, but count for no load. Nobody read the flow that `record_syn` returned, so that it returns nothing now.

The new test could not run before the change, as the setting is new.

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -155,11 +155,13 @@
             > self.settings.follow_up_share_threshold
         )
 
-    def record_syn(self, header: PacketHeader, token: int, now: float) -> Flow:
-        """Record that a flow's SYN packet goes to a server; return the flow."""
+    def record_syn(self, header: PacketHeader, token: int, now: float) -> None:
+        """Record that a flow's SYN packet goes to a server."""
         flow = self.flows.get(header.flow_key)
         if flow is None or flow.is_established:
             self._remove(header.flow_key)
+            if not self._has_room():
+                return
             flow = self.flows[header.flow_key] = Flow(token, now)
             self._count_open_flow(token, 1)
         elif flow.token != token:
@@ -173,7 +175,6 @@
         flow.last_packet_at = now
         self._start_request(flow, now)
         self.forwarded_syns.append((now, header.flow_key))
-        return flow
 
     def record_unanswered_syn(self, flow: Flow, copy: int, now: float) -> bool:
         """Record, when a SYN is retransmitted, that its server did not answer.
@@ -203,6 +204,8 @@
         """Update the load from a packet that is not a SYN."""
         flow = self.flows.get(header.flow_key)
         if flow is None:
+            if not self._has_room():
+                return
             flow = self.flows[header.flow_key] = Flow(token, now)
             flow.next_sequence_number = header.sequence_number
             flow.has_sent_request = True
@@ -318,6 +321,9 @@
             if load.open_flows or load.avoided_until > now
         ]
 
+    def _has_room(self) -> bool:
+        return len(self.flows) < self.settings.max_flows
+
     def _establish(
         self, flow: Flow, token: int, header: PacketHeader, now: float
     ) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -13,6 +13,8 @@
     Attributes:
         vm: This VM.
         zone: Availability zone of this VM.
+        max_flows: Limit of flows whose load is tracked; packets of others are routed,
+            but count for no load.
         flow_idle_timeout_s: Seconds without a packet after which a flow is removed.
         request_timeout_s: Seconds without a sign of an answer after which a request no
             longer counts as in progress.
@@ -92,6 +94,7 @@
 
     vm: VmId
     zone: ZoneName
+    max_flows: int = 400_000
     flow_idle_timeout_s: float = 15.0
     request_timeout_s: float = 0.7
     handshake_timeout_s: float = 0.25
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -550,3 +550,26 @@
             router.route_packet(packet, NOW_S)
     router.remove_expired(NOW_S + 0.5)
     assert set(router.load_tracker.follow_up_share) <= {ROUTE_ADDRESS}
+
+
+# Guards against: an entry for each address that packets with a known token name, which
+# fills the memory of an entry VM within the 15 s for which idle flows are kept.
+def test_packets_are_routed_beyond_the_limit_of_tracked_flows():
+    record = make_server_record("i-1", slots=1000)
+    settings = TokenRouterSettings("e1", "a", max_flows=10)
+    router = TokenRouter(settings, Random(1), 0.0)
+    router.install_routes(make_route_set(), 0.0)
+    router.store_record(record, 0.0)
+    for caller in range(50):
+        packet = make_data_packet(record.token, caller)
+        assert router.route_packet(packet, NOW_S) == Forward(record, record.token)
+    for caller in range(100, 150):
+        sent = router.route_packet(make_syn(caller), NOW_S)
+        assert sent == Forward(record, record.token)
+    tracker = router.load_tracker
+    assert len(tracker.flows) == 10
+    assert tracker.local_loads[record.token].open_flows == 10
+    router.remove_expired(NOW_S + 100.0)
+    assert tracker.flows == {}
+    router.route_packet(make_syn(200), NOW_S + 101.0)
+    assert len(tracker.flows) == 1
