Test that all VMs take the reports that a control VM takes

The bounds for reports of servers and those for records of other VMs stand in two places. The test sends reports at the bounds of control VMs through both.

--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -30,6 +30,7 @@
 from kumquatmux_core import decisions
 from kumquatmux_core.codec import PROTOCOL_VERSION, registry
 from kumquatmux_core.identity import Endpoint
+from kumquatmux_daemons.plain_http.server import HttpCall
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.core import CoreParts, RegistrarCore
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
@@ -39,7 +40,7 @@
 from kumquatmux_daemons.transport.intake import NUMBER_LIMIT, record_problem, take_in
 from kumquatmux_daemons.transport.parts import PLAIN, Cutter
 from kumquatmux_platform import packets
-from kumquatmux_platform.calls import pack
+from kumquatmux_platform.calls import PlatformCalls, pack
 from kumquatmux_platform.entry import PlatformPackets
 from kumquatmux_registry.feed import ELEMENT_TYPES, FeedAnswer, FeedPoll
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
@@ -548,3 +549,36 @@
     )
     assert take_in(PEER, chunk).is_ok()
     assert take_in(PEER, chunk._replace(**changes)).is_error()
+
+
+# Guards against: bounds that differ, so that a control VM acknowledges a server and
+# entry VMs leave it out.
+@given(
+    st.text("abcxyz-.", max_size=100),
+    st.text("0123456789abcdefABCDEF", min_size=1, max_size=16),
+    st.text("abz-", min_size=1, max_size=255),
+    st.sampled_from((1, 1 << 32, (1 << 53) - 1)),
+    st.sampled_from((1, 1_000_000)),
+    st.sampled_from((0, 0.5, 86_400_000.0)),
+)
+@example("x" * 100, "f" * 16, "z" * 255, (1 << 53) - 1, 1_000_000, 86_400_000.0)
+def test_a_report_that_a_control_vm_takes_is_taken_by_all(
+    prefix, digits, text, number, slots, warm_up_ms
+):
+    beat = {
+        "backend": text,
+        "address": "10.128.0.9:65535",
+        "zone": text,
+        "version": text,
+        "concurrency": slots,
+        "state": "draining",
+        "warmup-left-ms": warm_up_ms,
+        "seq": number,
+        "born": number,
+    }
+    path = f"/v1/instances/{prefix}-{digits}"
+    call = HttpCall("PUT", path, msgspec.json.encode(beat))
+    record = ServerRecord(PlatformCalls(8166).read_call(call).ok.report, PEER)
+    assert record_problem(record) == ""
+    assert packets.names_server(record.report.lifetime.name)
+    assert SOFT.decode(SOFT.encode(TokenAnswer(PEER, record))).ok.record == record
