Follow up a full page of records even if one was left out of it

Seen by callers: nothing yet. Where an odd record was left out of a full page, the follower took the page for the last one, and asked for the next 0.5 s later; a VM that starts learns all servers later by as much for each such page.

Cause: a page counted as full by the number of records that were left.

Evidence: the new test failed before the change with `assert None is not None`.

Change: it counts by the changes that the answer spans, which the control VM says. Where the records of many changes are few, one more poll is answered with nothing. A VM that isn't asked to push is now asked for a newer document after a full page too; before, that waited for the next regular poll.

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -182,8 +182,12 @@
         self._store_document(answer)
 
     def has_more(self, answer: FeedAnswer) -> bool:
-        """Return whether the answer is a full page, so that more records may follow."""
-        return len(answer.records) >= self.settings.page_size
+        """Return whether the answer may be a full page, which others follow.
+
+        It is judged by the changes that it spans, as odd records may have been left out
+        of it. Where no more follow, the next answer spans none.
+        """
+        return answer.position - answer.since >= self.settings.page_size
 
     def poll_after(self, answer: FeedAnswer, now: float) -> FeedPoll | None:
         """Return the extra poll to send at once after an answer, or None.
@@ -193,8 +197,8 @@
         requires a poll for the document.
         """
         poll = self.poll_of(answer.sender, now)
-        if self.has_more(answer):
-            return poll if poll.wants_push else None
+        if self.has_more(answer) and poll.wants_push:
+            return poll
         source = self._state_of(answer.sender)
         is_behind = answer.document > self._known_document(source, now)
         was_polled_recently = (
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -309,3 +309,21 @@
     assert mine.poll_after(unknown._replace(document=1), 0.2).position == 0
     mine.set_seeds(("s1", "s2"))
     assert {"s1", "s2"} <= set(mine.sources)
+
+
+# Guards against: an odd record left out of a full page, so that the page no longer
+# counted as full and its neighbours on the next one came half a second later.
+def test_a_full_page_is_followed_up_even_if_a_record_was_left_out():
+    source = make_publisher(page=2)
+    for number in range(1, 4):
+        source.leases.report(make_report(f"i-{number}"), 0.0)
+    mine = make_follower()
+    answer = source.answer(mine.poll_of("c1", 1.0), 1.0)
+    without_odd = answer._replace(records=answer.records[1:])
+    mine.take(without_odd, 1.0)
+    following = mine.poll_after(without_odd, 1.0)
+    assert following is not None
+    last = source.answer(following, 1.1)
+    mine.take(last, 1.1)
+    assert [one.report.lifetime.name for one in last.records] == ["i-3"]
+    assert mine.poll_after(last, 1.1) is None
