--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any, NamedTuple
 
@@ -22,8 +23,9 @@
     required_voter_count,
 )
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import Endpoint, VmId, ZoneName
+from kumquatmux_core.identity import Endpoint, ServiceName, VmId, ZoneName
 from kumquatmux_core.problems import Problem
+from kumquatmux_daemons.failures import log_contained
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.calls import (
     Answer,
@@ -40,7 +42,7 @@
 from kumquatmux_registry.leases import Leases
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.publisher import Document, Publisher, PublisherSettings
-from kumquatmux_registry.records import Phase
+from kumquatmux_registry.records import Phase, ServerRecord
 from kumquatmux_registry.saved import SavedServers
 from kumquatmux_registry.settings import RegistrySettings
 from kumquatmux_settings.documents import NumberedDocument, entry_of
@@ -96,10 +98,12 @@
     Attributes:
         agreed: The replicated documents.
         saved: The file of servers.
+        services_of: Returns the services that a document names.
     """
 
     agreed: Agreed
     saved: SavedServers
+    services_of: Callable[[bytes], frozenset[ServiceName]] = lambda content: frozenset()
 
 
 class RegistrarCore:
@@ -125,6 +129,7 @@
         self.settings = settings
         self.agreed = parts.agreed
         self.saved = parts.saved
+        self.services_of = parts.services_of
         late = settings.report_period_s * LATE_REPORTS + MOVE_ON_S
         registry = RegistrySettings(late_after_s=late, holder_silent_s=late + MOVE_ON_S)
         self.leases = Leases(registry, settings.vm)
@@ -149,11 +154,18 @@
         self.handle_call = self._handle_call
 
     def message(self, sender: VmId, message: Any, now: float) -> list[Sent | Answered]:
-        """Take a message of another VM."""
+        """Take a message of another VM.
+
+        An error spoils a message about servers only, which is sent again. One of the
+        replicated log stops the process, as its state may be half changed.
+        """
         if isinstance(message, ReplicaMessage):
             self.agreed.give(MessageReceived(message), now)
         else:
-            self.handle_message(message, now)
+            try:
+                self.handle_message(message, now)
+            except Exception as error:
+                log_contained("input-failed", error, "message")
         return self._effects(now)
 
     def call(self, call: Call, token: str, now: float) -> list[Sent | Answered]:
@@ -188,7 +200,7 @@
 
     @singledispatchmethod
     def _handle_message(self, message: Any, now: float) -> None:
-        raise TypeError(f"unknown message {type(message).__name__}")
+        log_decision("message-unexpected", message=type(message).__name__)
 
     @_handle_message.register
     def _(self, message: FeedPoll, now: float) -> None:
@@ -201,7 +213,7 @@
     def _(self, message: FeedAnswer, now: float) -> None:
         self.leases.hear_holder(message.sender, now)
         self.follower.take(message, now)
-        merged = [self.leases.merge(record, now) for record in message.records]
+        merged = [self._merge(record, now) for record in message.records]
         if any(merged):
             self._push(now)
         if self.follower.has_more(message):
@@ -273,6 +285,7 @@
         self.publisher.is_current = self.agreed.is_current()
         if newest.number > self.publisher.document.number:
             self.publisher.document = Document(newest.number, newest.content)
+            self.leases.set_named_services(self.services_of(newest.content))
             self._push(now)
         sends = self.agreed.sends
         self.out.extend(Sent(one.vm, one.message) for one in sends)
@@ -319,6 +332,14 @@
     def _answer(self, token: str, answer: Answer) -> None:
         self.out.append(Answered(token, answer))
 
+    def _merge(self, record: ServerRecord, now: float) -> bool:
+        """Merge a record; return whether to push. An error spoils this one only."""
+        try:
+            return self.leases.merge(record, now)
+        except Exception as error:
+            log_contained("input-failed", error, "record")
+            return False
+
     def _push(self, now: float) -> None:
         """Push changes, at the next tick if others were pushed just now."""
         self.has_unpushed = now < self.pushed_at + PUSH_S
--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -4,6 +4,7 @@
 
 import secrets
 from collections import Counter
+from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
@@ -11,6 +12,7 @@
 from expression import Error, Ok, Result
 
 from kumquatmux_agreement.entries import (
+    EntryKind,
     ReplicaId,
     founding_folder,
     founding_vms,
@@ -21,13 +23,12 @@
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.codec import registry
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import Endpoint, VmId
+from kumquatmux_core.identity import VmId
 from kumquatmux_core.latencies import Latencies
 from kumquatmux_core.lines import LineWriter
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons import metrics_text
 from kumquatmux_daemons.plain_http.server import (
-    Handler,
     HttpAnswer,
     HttpCall,
     Shutdown,
@@ -36,16 +37,25 @@
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.calls import Answer, CallFormat, Outcome
 from kumquatmux_daemons.registrar.core import Answered, CoreParts, RegistrarCore, Sent
+from kumquatmux_daemons.registrar.door import Door
 from kumquatmux_daemons.registrar.first_start import FILE_NAME as FIRST_START
 from kumquatmux_daemons.registrar.first_start import noted_founders
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
-from kumquatmux_daemons.running import Watch, watch_settings, watch_signals
+from kumquatmux_daemons.running import Steering
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams, every
+from kumquatmux_daemons.waiting import bind_when_possible, wait_for
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
 from kumquatmux_registry.saved import SavedServers
+from kumquatmux_settings.documents import document_of
 from kumquatmux_storage import Identity, Store, open_or_create
 from kumquatmux_storage.disk import Disk, open_folder, problem_from_os_error
+from kumquatmux_storage.files import (
+    DETAIL_CHARACTERS,
+    LOG,
+    RECOVERY_ADVICE,
+    SNAPSHOT,
+)
 
 CLUSTER = "registrar"
 FOLDER_NAME_BYTES = 8
@@ -65,8 +75,12 @@
 STOP_S = 1.2
 """Seconds a stopping registrar goes on, so that another one leads and is told."""
 
-LAST_ANSWERS_S = 1.0
-"""Longest seconds after that in which the calls that arrived get their answers."""
+
+METHODS = frozenset(["GET", "PUT", "DELETE"])
+"""Methods that are counted under their names."""
+
+QUOTED_CHARACTERS = 200
+"""Longest text in a line that quotes a call."""
 
 
 class RegistrarParts(NamedTuple):
@@ -76,13 +90,13 @@
         settings: Its settings.
         format: How calls look on the wire.
         lines: Where its log lines go.
-        watch: Its settings file.
+        steering: What signals and its settings file ask of it.
     """
 
     settings: RegistrarSettings
     format: CallFormat
     lines: LineWriter
-    watch: Watch
+    steering: Steering
 
 
 class Desk:
@@ -93,11 +107,14 @@
         counts: Calls by outcome.
         latencies: How long calls took.
         shutdown: Graceful shutdown of the server that takes the calls.
-        stopped: Set when the last call is answered after it.
     """
 
     def __init__(
-        self, core: RegistrarCore, peers: PeerDatagrams, lines: LineWriter
+        self,
+        core: RegistrarCore,
+        peers: PeerDatagrams,
+        lines: LineWriter,
+        shutdown: Shutdown,
     ) -> None:
         self.core = core
         self.peers = peers
@@ -107,8 +124,7 @@
         self.waiting: dict[str, trio.Event] = {}
         self.answers: dict[str, Answer] = {}
         self.calls = 0
-        self.shutdown = Shutdown()
-        self.stopped = trio.Event()
+        self.shutdown = shutdown
 
     def carry_out(self, effects: list[Sent | Answered]) -> None:
         """Send messages and wake the calls that are answered."""
@@ -155,23 +171,45 @@
 
 
 def open_store(settings: RegistrarSettings) -> Result[Store, Problem]:
-    """Open the data folder, or create it if it is empty."""
+    """Open the data folder, or create it if it is empty.
+
+    The folder is let go if it cannot be used, so that it can be opened again.
+    """
     disk = open_folder(settings.folder)
     if disk.is_error():
         return Error(disk.error)
     founders = founders_of(settings, disk.ok)
-    if founders.is_error():
-        return Error(founders.error)
+    opened = founders.bind(partial(_open_or_found, settings.vm, disk.ok))
+    if opened.is_error():
+        disk.ok.close()
+    return opened
+
+
+def _open_or_found(
+    vm: VmId, disk: Disk, founders: tuple[VmId, ...]
+) -> Result[Store, Problem]:
     folder = secrets.token_hex(FOLDER_NAME_BYTES)
     first = joining_state()
-    if founders.ok:
-        folder = founding_folder(founders.ok)
-        first = shared_founding_state(founders.ok)
-    identity = Identity(CLUSTER, settings.vm, folder)
-    opened = open_or_create(disk.ok, identity, first)
-    if opened.is_error():
-        return Error(opened.error)
-    return Ok(opened.ok)
+    if founders:
+        folder = founding_folder(founders)
+        first = shared_founding_state(founders)
+    identity = Identity(CLUSTER, vm, folder)
+    return open_or_create(disk, identity, first).bind(check_documents)
+
+
+def check_documents(store: Store) -> Result[Store, Problem]:
+    """Return the store if the documents in it can be read."""
+    snapshot = store.restored.snapshot
+    contents = [(SNAPSHOT, snapshot.data)] if snapshot.data else []
+    for entry in store.restored.entries:
+        if entry.kind == EntryKind.DATA:
+            contents.append((LOG, entry.data))
+    for name, content in contents:
+        read = document_of(content)
+        if read.is_error():
+            detail = f"{read.error.detail[:DETAIL_CHARACTERS]}; {RECOVERY_ADVICE}"
+            return Error(Problem("file-content", detail, name))
+    return Ok(store)
 
 
 def founders_of(
@@ -208,82 +246,117 @@
 
 
 async def open_when_possible(settings: RegistrarSettings) -> Store:
-    """Return the open data folder, waiting while its disk takes no writes."""
-    while True:
-        store = open_store(settings)
-        if store.is_ok():
-            return store.ok
-        log_decision("storage-unusable", problem=store.error)
-        await trio.sleep(ANSWER_S / 8)
+    """Return the open data folder, waiting while it cannot be used."""
+    return await wait_for(partial(open_store, settings), "storage-unusable")
 
 
 async def run_registrar(parts: RegistrarParts) -> None:
     """Run a registrar until it has stopped gracefully."""
-    settings = parts.settings
+    steering = parts.steering
+    door = Door(parts.format)
     parts.lines.tick(trio.current_time())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(steering.watch_signals)
+        nursery.start_soon(door.serve, parts.settings.calls)
+        prepared = partial(prepare_desk, parts, door.shutdown)
+        desk = await steering.prepare(prepared, parts.lines)
+        if desk is not None:
+            door.handler = calls_handler(desk, parts)
+            await serve_until_stopped(desk, parts, nursery)
+        await door.close()
+        nursery.cancel_scope.cancel()
+    log_decision("stopped", role="registrar")
+    parts.lines.flush()
+
+
+async def prepare_desk(parts: RegistrarParts, shutdown: Shutdown) -> Desk:
+    """Return the desk, once the data folder is open and the port is bound."""
+    settings = parts.settings
     store = await open_when_possible(settings)
     random = Random(secrets.randbits(64))
     agreed = Agreed(replica_settings(settings, store), store, random)
     incarnation = secrets.randbits(48)
-    core_parts = CoreParts(agreed, SavedServers(store.disk))
+    saved = SavedServers(store.disk)
+    core_parts = CoreParts(agreed, saved, parts.format.services_of)
     core = RegistrarCore(settings, core_parts, incarnation, trio.current_time())
     messages = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES)
-    desk = Desk(core, PeerDatagrams(settings.peers, messages), parts.lines)
-    stopping = trio.Event()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(desk.peers.serve, desk.take)
-        nursery.start_soon(every, TICK_S, desk.tick)
-        handle_call = calls_handler(desk, parts)
-        nursery.start_soon(serve_calls, settings.calls, handle_call, desk)
-        nursery.start_soon(serve_http, settings.metrics, metrics_handler(desk, parts))
-        nursery.start_soon(watch_signals, parts.watch, core.follower, stopping)
-        nursery.start_soon(watch_settings, parts.watch, core.follower)
-        log_decision("started", role="registrar", zone=settings.zone)
-        await stopping.wait()
-        desk.carry_out(core.stop(trio.current_time()))
-        await trio.sleep(STOP_S)
-        desk.stop()
-        with trio.move_on_after(LAST_ANSWERS_S):
-            await desk.stopped.wait()
-        nursery.cancel_scope.cancel()
-    log_decision("stopped", role="registrar")
-    parts.lines.flush()
+    peers = await bind_when_possible(
+        partial(PeerDatagrams, messages=messages), settings.peers
+    )
+    return Desk(core, peers, parts.lines, shutdown)
 
 
-async def serve_calls(bind: Endpoint, handler: Handler, desk: Desk) -> None:
-    """Serve calls until the desk stops and the last one is answered."""
-    await serve_http(bind, handler, desk.shutdown)
-    desk.stopped.set()
+async def serve_until_stopped(
+    desk: Desk, parts: RegistrarParts, nursery: trio.Nursery
+) -> None:
+    """Serve until the program has to stop and another one can lead."""
+    settings = parts.settings
+    steering = parts.steering
+    nursery.start_soon(desk.peers.serve, desk.take)
+    nursery.start_soon(every, TICK_S, desk.tick)
+    nursery.start_soon(serve_http, settings.metrics, metrics_handler(desk, parts))
+    steering.steer(desk.core.follower)
+    nursery.start_soon(steering.watch_settings)
+    log_decision("started", role="registrar", zone=settings.zone)
+    await steering.stopping.wait()
+    desk.carry_out(desk.core.stop(trio.current_time()))
+    await trio.sleep(STOP_S)
+    desk.stop()
 
 
 def calls_handler(desk: Desk, parts: RegistrarParts) -> Any:
-    """Return what answers calls of operators and backend servers."""
+    """Return what answers calls of operators and backend servers.
+
+    An error of this program while it reads a call or writes its answer fails that call
+    only. One while it acts on a call stops the process, as what it holds may be wrong.
+    """
 
     async def handle(call: HttpCall) -> HttpAnswer:
         started = trio.current_time()
-        read = parts.format.read_call(call)
+        try:
+            read = parts.format.read_call(call)
+        except Exception as error:
+            return _failed(call, error)
         if read.is_error():
             answer = Answer(Outcome.REFUSED, problem=read.error)
         else:
             answer = await desk.ask(read.ok)
-        desk.counts[f"calls.{call.method}.{answer.outcome}".lower()] += 1
-        desk.latencies.record(
-            f"call.{call.method}".lower(), trio.current_time() - started
-        )
+        _count(desk, call, answer, trio.current_time() - started)
         if answer.outcome != Outcome.DONE or read.is_error():
             log_decision(
                 "call-answered",
-                method=call.method,
-                target=call.target,
+                method=call.method[:QUOTED_CHARACTERS],
+                target=call.target[:QUOTED_CHARACTERS],
                 outcome=answer.outcome,
                 problem=answer.problem,
                 leader=answer.leader,
             )
-        return parts.format.write_answer(call, answer)
+        try:
+            return parts.format.write_answer(call, answer)
+        except Exception as error:
+            return _failed(call, error)
 
     return handle
 
 
+def _failed(call: HttpCall, error: Exception) -> HttpAnswer:
+    """Log an error of this program's own; return the answer to the call."""
+    log_decision(
+        "call-failed",
+        method=call.method[:QUOTED_CHARACTERS],
+        target=call.target[:QUOTED_CHARACTERS],
+        error=type(error).__name__,
+        detail=str(error)[:QUOTED_CHARACTERS],
+    )
+    return HttpAnswer(500)
+
+
+def _count(desk: Desk, call: HttpCall, answer: Answer, elapsed_s: float) -> None:
+    method = call.method if call.method in METHODS else "other"
+    desk.counts[f"calls.{method}.{answer.outcome}".lower()] += 1
+    desk.latencies.record(f"call.{method}".lower(), elapsed_s)
+
+
 def metrics_handler(desk: Desk, parts: RegistrarParts) -> Any:
     """Return what answers with the metrics."""
 
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from functools import singledispatchmethod
 from random import Random
 from typing import Any, NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
+from kumquatmux_daemons.failures import log_contained
 from kumquatmux_daemons.token_entry.formats import EntryFormat
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
@@ -28,6 +30,7 @@
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.router import TokenRouter
+from kumquatmux_tokens.routes import RouteSet
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import BufferedPacket
 from kumquatmux_tokens.work import LoadShare
@@ -48,6 +51,13 @@
 """Seconds after the start from which a document that nobody confirms must do."""
 
 
+ENDED_RETENTION_S = 240.0
+"""Seconds for which the record of an ended server is kept, longer than at control VMs.
+
+Until then an older record that comes late from one of them changes nothing.
+"""
+
+
 class Datagram(NamedTuple):
     """A datagram of the packet port.
 
@@ -130,16 +140,23 @@
         return self.has_served
 
     def packet(self, data: bytes, now: float) -> list[Effect]:
-        """Return what follows from a caller's packet."""
+        """Return what follows from a caller's packet.
+
+        An error spoils this packet only: the state that packets share is a count of
+        load, which expires, and packets of other flows do not depend on it.
+        """
         head = self.format.read_head(data)
         if head is None:
             self.counts["packets.unread"] += 1
             return []
-        return self._route(head, data, now)
+        return self._contained("packet", self._route, head, data, now)
 
     def message(self, sender: VmId, message: Any, now: float) -> list[Effect]:
-        """Return what follows from a message of another VM."""
-        return self.handle_message(message, now)
+        """Return what follows from a message of another VM.
+
+        An error spoils this message only: whatever has to arrive is sent again.
+        """
+        return self._contained("message", self.handle_message, message, now)
 
     def tick(self, now: float) -> list[Effect]:
         """Return what is due."""
@@ -147,6 +164,7 @@
         if now >= self.sweep_at:
             self.sweep_at = now + POLL_S
             self.router.remove_expired(now)
+            self.table.remove_ended(now - ENDED_RETENTION_S)
             self._note_feed(now)
             self._note_zones(now)
         if now >= self.poll_at:
@@ -165,6 +183,17 @@
         self.follower.is_stopping = True
         return [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
 
+    def _contained(
+        self, subject: str, work: Callable[..., list[Effect]], *given: Any
+    ) -> list[Effect]:
+        """Return what some work returns, nothing if it fails."""
+        try:
+            return work(*given)
+        except Exception as error:
+            self.counts[f"failed.{subject}"] += 1
+            log_contained("input-failed", error, subject)
+            return []
+
     def _route(self, head: PacketHeader, data: bytes, now: float) -> list[Effect]:
         decision = self.router.route_packet(head, now)
         return self.apply_decision(decision, head, data, now)
@@ -257,17 +286,20 @@
 
     @singledispatchmethod
     def _handle_message(self, message: Any, now: float) -> list[Effect]:
-        raise TypeError(f"unknown message {type(message).__name__}")
+        self.counts["messages.unexpected"] += 1
+        log_decision("message-unexpected", message=type(message).__name__)
+        return []
 
     @_handle_message.register
     def _(self, message: FeedAnswer, now: float) -> list[Effect]:
-        former = self.follower.document.number
-        self.follower.take(message, now)
+        routes = self._read_document(message, now)
+        taken = message if routes is not None else message._replace(content=b"")
+        self.follower.take(taken, now)
         self.router.coordinators.set_entry_vms(self.follower.peers)
-        if self.follower.document.number > former:
-            self._install(now)
+        if routes is not None:
+            self.router.install_routes(routes, now)
         effects = self._merge(message.records, now)
-        if message.records or self.follower.document.number > former:
+        if message.records or routes is not None:
             effects += self._try_waiting(now)
         poll = self.follower.poll_after(message, now)
         if poll is not None:
@@ -305,19 +337,38 @@
     def _(self, message: TokenAnswer, now: float) -> list[Effect]:
         return self._merge((message.record,), now)
 
-    def _install(self, now: float) -> None:
-        routes = self.format.read_routes(self.follower.document.content)
-        if routes.is_error():
-            log_decision("document-unread", problem=routes.error)
-            return
-        self.router.install_routes(routes.ok, now)
+    def _read_document(self, answer: FeedAnswer, now: float) -> RouteSet | None:
+        """Return the routes of a newer document, None if there is none to read.
+
+        The routes in force stay while a document cannot be read.
+        """
+        if not answer.content or answer.document <= self.follower.document.number:
+            return None
+        routes = self.format.read_routes(answer.content)
+        if routes.is_ok():
+            return routes.ok
+        log_decision("document-unread", problem=routes.error)
+        self.counts["documents.unread"] += 1
+        self.follower.postpone_document(answer.sender, answer.document, now)
+        return None
 
     def _merge(self, records: tuple[ServerRecord, ...], now: float) -> list[Effect]:
         effects: list[Effect] = []
         for record in records:
-            for changed in self.table.merge(record, now):
-                for held in self.router.store_record(changed, now):
-                    effects += self._route(held.header, held.data, now)
+            if not self.format.names_server(record.report.lifetime.name):
+                self.counts["records.unnamed"] += 1
+                log_decision("record-unnamed", server=record.report.lifetime)
+                continue
+            effects += self._contained("record", self._merge_one, record, now)
+        return effects
+
+    def _merge_one(self, record: ServerRecord, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for changed in self.table.merge(record, now):
+            for held in self.router.store_record(changed, now):
+                effects += self._contained(
+                    "packet", self._route, held.header, held.data, now
+                )
         return effects
 
     def _try_waiting(self, now: float) -> list[Effect]:
@@ -325,10 +376,13 @@
         self.retry_at = now + RETRY_S
         effects: list[Effect] = []
         for held in self.router.syn_buffer.unexpired_packets(now):
-            decision = self.router.route_packet(held.header, now)
-            effects += self._release(decision, held, now)
+            effects += self._contained("packet", self._try_one, held, now)
         return effects
 
+    def _try_one(self, held: BufferedPacket, now: float) -> list[Effect]:
+        decision = self.router.route_packet(held.header, now)
+        return self._release(decision, held, now)
+
     def _release(
         self, decision: Decision, held: BufferedPacket, now: float
     ) -> list[Effect]:
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -4,9 +4,10 @@
 from random import Random
 
 import pytest
-from expression import Ok
+from expression import Error, Ok
 
 from kumquatmux_core.identity import Address, Endpoint
+from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.token_entry.core import RETRY_S, Datagram, EntryCore, Sent
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
@@ -45,6 +46,9 @@
             length,
         )
 
+    def names_server(self, name):
+        return name.startswith("i-")
+
     def to_server(self, packet, server, token):
         return packet.split()[0] + b" %d %d" % (int(packet.split()[1]), token)
 
@@ -55,6 +59,8 @@
         return "100.64.0.1"
 
     def read_routes(self, content):
+        if content == b"damaged":
+            return Error(Problem("manifest-unread", "damaged"))
         route = Route("r", ROUTE, (WeightedService("entries", 1),))
         return Ok(RouteSet(int(content), (route,), frozenset({"entries"}), 15.0))
 
@@ -240,3 +246,117 @@
     asked = core.packet(b"data 7 99", 0.2)
     assert "c1" in {one.vm for one in asked}
     assert len({one.vm for one in asked}) == 4
+
+
+# Guards against: the records of all servers that ever ended, kept by each entry VM.
+def test_servers_that_ended_long_ago_are_forgotten(core):
+    for number in range(1, 50):
+        core.message("c1", answer(server(number)), 0.1)
+        ended = server(number, Phase.ENDED)
+        newer = ended._replace(report=ended.report._replace(number=2))
+        core.message("c1", answer(newer), 0.2)
+    core.message("c1", answer(server(50)), 0.2)
+    core.tick(200.0)
+    assert len(core.table.held) == 50
+    core.tick(300.0)
+    assert set(core.table.held) == {"i-50"}
+    assert len(core.router.directory.by_token) == 1
+
+
+def polls(effects):
+    return [one.message for one in effects if isinstance(one, Sent)]
+
+
+# Guards against: a document that cannot be read under a high number, which hid all
+# later ones, as its number counted as known for good.
+def test_an_unreadable_document_leaves_the_routes_and_later_documents_alone(core):
+    core.message("c1", answer(server(1), document=3, content=b"3"), 0.1)
+    core.message("c1", answer(document=9, content=b"damaged"), 0.2)
+    assert core.router.route_table.document_number == 3
+    core.message("c1", answer(document=4, content=b"4"), 0.3)
+    assert core.router.route_table.document_number == 4
+    assert core.counts["documents.unread"] == 1
+
+
+# Guards against: a large document that is sent again every half second although it
+# cannot be read.
+def test_an_unreadable_document_is_asked_for_again_after_a_while_only(core):
+    core.message("c1", answer(document=3, content=b"3"), 0.1)
+    asked = core.message("c1", answer(document=9, content=b"damaged"), 0.2)
+    asked += core.message("c1", answer(document=9), 0.6)
+    asked += core.tick(1.0)
+    assert {poll.document for poll in polls(asked)} == {9}
+    later = core.tick(6.0)
+    assert {poll.document for poll in polls(later)} == {3}
+    core.message("c1", answer(document=9, content=b"9"), 6.1)
+    assert core.router.route_table.document_number == 9
+
+
+@pytest.fixture
+def serving(core, monkeypatch):
+    """An entry VM that knows two servers, and fails for whatever is odd."""
+    core.message("c1", answer(server(1), server(2), document=3, content=b"3"), 0.1)
+    real = core.router.route_packet
+
+    def route(head, now):
+        if head.flow_key[:6] == (666).to_bytes(6):
+            raise OverflowError("int too large to convert to float")
+        return real(head, now)
+
+    monkeypatch.setattr(core.router, "route_packet", route)
+    return core
+
+
+# Guards against: an error about one caller's packet that ends the process for all.
+def test_an_error_spoils_the_packet_that_it_is_about_only(serving):
+    assert serving.packet(b"open 666", 0.5) == []
+    assert len(datagrams(serving.packet(b"open 7", 0.5))) == 1
+    assert serving.counts["failed.packet"] == 1
+
+
+# Guards against: a packet that fails again at each attempt, or keeps others waiting.
+def test_an_error_about_a_packet_that_waits_does_not_keep_the_others(core, monkeypatch):
+    for caller in (7, 666, 8):
+        core.packet(b"open %d" % caller, 0.1)
+    real = core.router.route_packet
+
+    def route(head, now):
+        if head.flow_key[:6] == (666).to_bytes(6):
+            raise ValueError("odd")
+        return real(head, now)
+
+    monkeypatch.setattr(core.router, "route_packet", route)
+    sent = core.message("c1", answer(server(1), document=3, content=b"3"), 0.2)
+    assert len(datagrams(sent)) == 2
+    for step in range(20):
+        core.tick(0.3 + 0.1 * step)
+    assert core.router.syn_buffer.by_flow == {}
+
+
+# Guards against: an error about one record that loses its neighbours.
+def test_an_error_about_a_record_does_not_lose_the_other_records(core, monkeypatch):
+    real = core.table.merge
+
+    def merge(record, now):
+        if record.report.lifetime.name == "i-2":
+            raise RuntimeError("odd record " + "x" * 9000)
+        return real(record, now)
+
+    monkeypatch.setattr(core.table, "merge", merge)
+    told = answer(server(1), server(2), server(3), document=3, content=b"3")
+    core.message("c1", told, 0.1)
+    assert set(core.table.held) == {"i-1", "i-3"}
+    assert core.router.route_table.document_number == 3
+
+
+# Guards against: an error about one message that ends the process.
+def test_an_error_about_a_message_spoils_this_message_only(core, monkeypatch):
+    def fail(*_):
+        raise KeyError("odd")
+
+    monkeypatch.setattr(core.follower, "take", fail)
+    assert core.message("c1", answer(server(1)), 0.1) == []
+    monkeypatch.undo()
+    core.message("c1", answer(server(1), document=3, content=b"3"), 0.2)
+    assert core.router.route_table.document_number == 3
+    assert core.counts["failed.message"] == 1
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import Endpoint
+from kumquatmux_core.identity import Endpoint, ServiceName
 from kumquatmux_registry.records import Phase, ServerRecord
 
 
@@ -30,6 +31,7 @@
         held: Entry with the newest record of each server name, oldest change first.
         name_by_token: Server name of each token.
         name_by_endpoint: Name of the server that last claimed each endpoint.
+        count_by_service: Number of servers of each service.
         position: Sequence number of the latest change.
     """
 
@@ -37,6 +39,7 @@
         self.held: dict[str, TableEntry] = {}
         self.name_by_token: dict[int, str] = {}
         self.name_by_endpoint: dict[Endpoint, str] = {}
+        self.count_by_service: Counter[ServiceName] = Counter()
         self.position = 0
 
     def get(self, name: str) -> ServerRecord | None:
@@ -83,18 +86,40 @@
         for name, entry in list(self.held.items()):
             is_ended = entry.record.report.phase == Phase.ENDED
             if is_ended and entry.changed_at < before:
-                del self.held[name]
-                self.name_by_token.pop(entry.record.token, None)
+                self.remove(name)
+
+    def remove(self, name: str) -> None:
+        """Remove the record of a server name, with its token and claim."""
+        record = self.held.pop(name).record
+        self.name_by_token.pop(record.token, None)
+        self._drop_claim(record)
+        self._uncount(record)
+
+    def _uncount(self, record: ServerRecord) -> None:
+        service = record.report.service
+        self.count_by_service[service] -= 1
+        if not self.count_by_service[service]:
+            del self.count_by_service[service]
+
+    def _drop_claim(self, record: ServerRecord) -> None:
+        endpoint = record.report.endpoint
+        if self.name_by_endpoint.get(endpoint) == record.report.lifetime.name:
+            del self.name_by_endpoint[endpoint]
 
     def _store(self, record: ServerRecord, now: float) -> ServerRecord:
         report = record.report
         name = report.lifetime.name
         self.position += 1
         previous = self.held.pop(name, None)
+        self.count_by_service[report.service] += 1
+        if previous is not None:
+            self._uncount(previous.record)
         if previous is None or previous.record.report.lifetime != report.lifetime:
             if previous is not None:
                 self.name_by_token.pop(previous.record.token, None)
             self.name_by_token[record.token] = name
+        if previous is not None and previous.record.report.endpoint != report.endpoint:
+            self._drop_claim(previous.record)
         self.held[name] = TableEntry(record, self.position, now)
         log_decision(
             "server-known",
--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -139,3 +139,37 @@
     table.merge(earlier, 0.0)
     table.merge(make_record(born=11), 1.0)
     assert table.find_token(earlier.token) is None
+
+
+# Guards against a server that is ended for an address that its earlier lifetime had.
+def test_an_address_of_an_earlier_lifetime_ends_no_later_one():
+    table = ServerTable()
+    table.merge(make_record(name="i-1", born=10, port=7), 0.0)
+    table.merge(make_record(name="i-1", born=20, port=8), 1.0)
+    table.merge(make_record(name="i-2", born=30, port=7), 2.0)
+    assert phases_by_name(table) == {"i-1": Phase.READY, "i-2": Phase.READY}
+
+
+# Guards against claims that pile up with each address that was ever reported.
+def test_claims_are_those_of_the_servers_that_are_known():
+    table = ServerTable()
+    for port in range(1, 50):
+        table.merge(make_record(born=port, port=port), 0.0)
+    assert list(table.name_by_endpoint) == [Endpoint("10.0.0.9", 49)]
+    table.merge(make_record(born=49, number=2, port=49, phase=Phase.ENDED), 1.0)
+    table.remove_ended(before=2.0)
+    assert table.name_by_endpoint == {}
+
+
+# Guards against: the endpoint of each server that ever ended, kept for good.
+def test_ended_servers_leave_no_trace_once_they_are_removed():
+    table = ServerTable()
+    for port in range(1, 100):
+        table.merge(make_record(name=f"i-{port}", port=port, phase=Phase.READY), 0.0)
+        ended = make_record(name=f"i-{port}", port=port, number=2, phase=Phase.ENDED)
+        table.merge(ended, 1.0)
+    table.merge(make_record(name="i-a", port=7), 2.0)
+    table.remove_ended(3.0)
+    assert set(table.held) == {"i-a"}
+    assert set(table.name_by_token.values()) == {"i-a"}
+    assert set(table.name_by_endpoint.values()) == {"i-a"}
