Say every 5 s that no cluster is known, and who could found it

Seen by operators: with no cluster, control VMs wrote nothing after their first second but the calls that they put off (no-leader), which doesn't tell a lost leader from a founding that never came. Now each says cluster-not-founded every 5 s until it knows one: whether it was told to found, with whom, and whom it asks. The line ends with the first leader.

The new tests need the line and cannot run on the code before.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -68,6 +68,9 @@
 GONE_S = 2.0
 """Seconds without a word after which a voter's seat may go to a VM that is there."""
 
+UNFOUNDED_S = 5.0
+"""Seconds between lines that say that no cluster is known."""
+
 SEATING_S = 4.0
 """Seconds that a leader's first order waits for voters that have not answered it."""
 
@@ -190,6 +193,8 @@
             self._save()
         if self._is_due("seats", SEATS_S, now):
             self._look_at_seats(now)
+        if now >= self.started_at + UNFOUNDED_S:
+            self._tell_unfounded(now)
         return self._effects(now)
 
     def stop(self, now: float) -> list[Sent | Answered]:
@@ -369,6 +374,20 @@
             self.saved_position = table.position
             self.saved.save([held.record for held in table.held.values()])
 
+    def _tell_unfounded(self, now: float) -> None:
+        """Say that no cluster is known, and whom this VM would found one with."""
+        core = self.agreed.replica.core
+        if core.commit_index or core.leader is not None:
+            return
+        if self._is_due("unfounded", UNFOUNDED_S, now):
+            voters = core.log.configuration.voters
+            log_decision(
+                "cluster-not-founded",
+                founds=core.replica_id in voters,
+                founders=",".join(voter.vm for voter in voters),
+                asked=",".join(core.settings.peers),
+            )
+
     def _is_seated(self, now: float) -> bool:
         """Return whether enough control VMs vote for the first order.
 
--- a/tests/adapter/test_founding.py
+++ b/tests/adapter/test_founding.py
@@ -16,10 +16,12 @@
 from hypothesis import strategies as st
 
 from kumquatmux_core import decisions
+from kumquatmux_daemons.registrar import core
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.calls import Outcome, PutDocument
 from kumquatmux_daemons.registrar.core import (
     SEATING_S,
+    UNFOUNDED_S,
     Answered,
     CoreParts,
     RegistrarCore,
@@ -371,6 +373,31 @@
     assert site.origins() == set()
 
 
+# Guards against: no cluster for good, and no line that says why.
+@pytest.mark.parametrize("told", [(), SEEDS[:1]])
+def test_a_cluster_that_cannot_be_founded_is_told(site, monkeypatch, told):
+    lines = []
+    monkeypatch.setattr(core, "log_decision", lambda event, **line: lines.append(line))
+    for vm in SEEDS:
+        site.start(vm, bootstrap=vm in told)
+    site.run(UNFOUNDED_S - 1.0)
+    assert lines == []
+    site.run(2 * UNFOUNDED_S)
+    assert len(lines) == 2 * len(SEEDS)
+    assert [line["founds"] for line in lines[:3]] == [vm in told for vm in SEEDS]
+    founders = {line["founders"] for line in lines if line["founds"]}
+    assert founders == ({",".join(SEEDS)} if told else set())
+
+
+def test_a_founded_cluster_is_not_told(site, monkeypatch):
+    lines = []
+    monkeypatch.setattr(core, "log_decision", lambda event, **line: lines.append(event))
+    for vm in SEEDS:
+        site.start(vm, bootstrap=True)
+    site.run(2 * UNFOUNDED_S)
+    assert "cluster-not-founded" not in lines
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
