Give an emptied folder another name when a control VM opens it again

What could be seen: a control VM whose write failed and whose folder was empty when it was opened again, 0.5 s later, made a new folder under its old name. As a voter under that name it could vote twice in a term and stand for copies that were gone. None of this was seen on real processes: there, a folder whose files are taken away under a running program takes its writes, so that this takes a failing disk that comes back empty.

Cause: _reopen named the folder to be created as the one that was lost. Change: it draws a new name; a folder that still has its files keeps the one in it, as before.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -32,6 +32,7 @@
 from kumquatmux_settings.documents import DocumentLog
 from kumquatmux_storage.store import Store, open_or_create
 
+FOLDER_NAME_BITS = 64
 REOPEN_S = 0.5
 """Seconds between attempts to go on with a disk that failed."""
 
@@ -190,11 +191,16 @@
         return Replica(self.settings, restored, self.random)
 
     def _reopen(self) -> None:
-        """Go on from what the disk holds after a write failed."""
+        """Go on from what the disk holds after a write failed.
+
+        A folder that was emptied meanwhile gets another name: under its own, the
+        replica would vote and count again without what it knew.
+        """
         self.reopen_at = None
         if self.replica.core.role != Role.FAILED:
             return
-        identity = self.store.identity
+        folder = f"{self.random.getrandbits(FOLDER_NAME_BITS):016x}"
+        identity = self.store.identity._replace(folder=folder)
         opened = open_or_create(self.store.disk, identity, joining_state())
         if opened.is_error():
             log_decision("storage-still-failing", problem=opened.error)
