Keep the data folder's opening and the address checks in one place each

Cause: two branches checked addresses, in addresses.py and identity.py; a folder that was opened again after a failed write was not checked as at a start (by reading: a document that cannot be read would have raised in its restore); the registrar's daemon had grown by what opens its folder. Change: addresses.py holds all address checks; registrar/folder.py opens, founds or refuses a folder, and Agreed._reopen checks documents as well.

--- a/libs/core/src/kumquatmux_core/addresses.py
+++ b/libs/core/src/kumquatmux_core/addresses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import socket
 
 from kumquatmux_core.identity import Endpoint
 
@@ -39,3 +40,21 @@
     if not is_ip(ip) or not _port.fullmatch(port) or int(port) > MAX_PORT:
         return None
     return Endpoint(ip, int(port))
+
+
+def is_ip_number(text: str) -> bool:
+    """Return whether a text is any IPv4 address in its usual notation.
+
+    A socket would look any other text up as a host name, and block meanwhile.
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
+def is_sendable(endpoint: tuple[str, int]) -> bool:
+    """Return whether a datagram can be addressed to an IP number and port."""
+    ip, port = endpoint
+    return 0 < port <= MAX_PORT and is_ip_number(ip)
--- a/libs/core/src/kumquatmux_core/identity.py
+++ b/libs/core/src/kumquatmux_core/identity.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import ipaddress
-import socket
 from typing import NamedTuple, NewType
 
 VmId = NewType("VmId", str)
@@ -28,9 +27,6 @@
 """6 bytes: IPv4 address and port, big endian, as in packet headers."""
 
 
-MAX_PORT = 65_535
-
-
 class Endpoint(NamedTuple):
     """An IPv4 address and a port.
 
@@ -52,24 +48,6 @@
         return Address(ipaddress.IPv4Address(self.ip).packed + self.port.to_bytes(2))
 
 
-def is_ip_number(text: str) -> bool:
-    """Return whether a text is an IPv4 address in its usual notation.
-
-    A socket would look any other text up as a host name, and block meanwhile.
-    """
-    try:
-        socket.inet_pton(socket.AF_INET, text)
-    except (OSError, ValueError):
-        return False
-    return True
-
-
-def is_sendable(endpoint: tuple[str, int]) -> bool:
-    """Return whether a datagram can be addressed to an IP number and port."""
-    ip, port = endpoint
-    return 0 < port <= MAX_PORT and is_ip_number(ip)
-
-
 def unpack_endpoint(address: Address) -> Endpoint:
     """Convert a 6-byte address to an endpoint."""
     ip_text = str(ipaddress.IPv4Address(address[:4]))
--- a/libs/daemons/src/kumquatmux_daemons/entry/port.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/port.py
@@ -8,7 +8,8 @@
 
 import trio
 
-from kumquatmux_core.identity import Endpoint, is_sendable
+from kumquatmux_core.addresses import is_sendable
+from kumquatmux_core.identity import Endpoint
 
 BATCH_DATAGRAMS = 64
 DATAGRAM_BYTES = 65_535
--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -29,6 +29,7 @@
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
+from kumquatmux_daemons.registrar.folder import check_documents
 from kumquatmux_settings.documents import DocumentLog
 from kumquatmux_storage.store import Store, open_or_create
 
@@ -201,7 +202,9 @@
             return
         folder = f"{self.random.getrandbits(FOLDER_NAME_BITS):016x}"
         identity = self.store.identity._replace(folder=folder)
-        opened = open_or_create(self.store.disk, identity, joining_state())
+        opened = open_or_create(self.store.disk, identity, joining_state()).bind(
+            check_documents
+        )
         if opened.is_error():
             log_decision("storage-still-failing", problem=opened.error)
             self.reopen_at = self.replica.core.now + REOPEN_S
--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -9,16 +9,8 @@
 from typing import Any, NamedTuple
 
 import trio
-from expression import Error, Ok, Result
-
-from kumquatmux_agreement.entries import (
-    EntryKind,
-    ReplicaId,
-    founding_folder,
-    founding_vms,
-    joining_state,
-    shared_founding_state,
-)
+
+from kumquatmux_agreement.entries import ReplicaId
 from kumquatmux_agreement.messages import MESSAGE_TYPES as REPLICA_MESSAGES
 from kumquatmux_agreement.settings import ReplicaSettings
 from kumquatmux_core.codec import registry
@@ -38,8 +30,7 @@
 from kumquatmux_daemons.registrar.calls import Answer, CallFormat, Outcome
 from kumquatmux_daemons.registrar.core import Answered, CoreParts, RegistrarCore, Sent
 from kumquatmux_daemons.registrar.door import Door
-from kumquatmux_daemons.registrar.first_start import FILE_NAME as FIRST_START
-from kumquatmux_daemons.registrar.first_start import noted_founders
+from kumquatmux_daemons.registrar.folder import open_store
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
 from kumquatmux_daemons.running import Steering
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams, every
@@ -47,18 +38,8 @@
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
 from kumquatmux_registry.saved import SavedServers
-from kumquatmux_settings.documents import document_of
-from kumquatmux_storage import Identity, Store, open_or_create
-from kumquatmux_storage.disk import Disk, open_folder, problem_from_os_error
-from kumquatmux_storage.files import (
-    DETAIL_CHARACTERS,
-    LOG,
-    RECOVERY_ADVICE,
-    SNAPSHOT,
-)
+from kumquatmux_storage import Store
 
-CLUSTER = "registrar"
-FOLDER_NAME_BYTES = 8
 TICK_S = 0.05
 HEARTBEAT_S = 0.12
 ELECTION_S = 0.6
@@ -170,64 +151,6 @@
         return self.answers.pop(token, late)
 
 
-def open_store(settings: RegistrarSettings) -> Result[Store, Problem]:
-    """Open the data folder, or create it if it is empty.
-
-    The folder is let go if it cannot be used, so that it can be opened again.
-    """
-    disk = open_folder(settings.folder)
-    if disk.is_error():
-        return Error(disk.error)
-    founders = founders_of(settings, disk.ok)
-    opened = founders.bind(partial(_open_or_found, settings.vm, disk.ok))
-    if opened.is_error():
-        disk.ok.close()
-    return opened
-
-
-def _open_or_found(
-    vm: VmId, disk: Disk, founders: tuple[VmId, ...]
-) -> Result[Store, Problem]:
-    folder = secrets.token_hex(FOLDER_NAME_BYTES)
-    first = joining_state()
-    if founders:
-        folder = founding_folder(founders)
-        first = shared_founding_state(founders)
-    identity = Identity(CLUSTER, vm, folder)
-    return open_or_create(disk, identity, first).bind(check_documents)
-
-
-def check_documents(store: Store) -> Result[Store, Problem]:
-    """Return the store if the documents in it can be read."""
-    snapshot = store.restored.snapshot
-    contents = [(SNAPSHOT, snapshot.data)] if snapshot.data else []
-    for entry in store.restored.entries:
-        if entry.kind == EntryKind.DATA:
-            contents.append((LOG, entry.data))
-    for name, content in contents:
-        read = document_of(content)
-        if read.is_error():
-            detail = f"{read.error.detail[:DETAIL_CHARACTERS]}; {RECOVERY_ADVICE}"
-            return Error(Problem("file-content", detail, name))
-    return Ok(store)
-
-
-def founders_of(
-    settings: RegistrarSettings, disk: Disk
-) -> Result[tuple[VmId, ...], Problem]:
-    """Return with whom this VM founds the cluster if its folder is empty, or nobody.
-
-    What was noted at the first start goes first: seeds change later.
-    """
-    try:
-        noted = noted_founders(disk)
-    except OSError as error:
-        return Error(problem_from_os_error(error, FIRST_START))
-    seeds = noted or (settings.seeds if settings.founds else ())
-    founders = founding_vms(seeds)
-    return Ok(founders if settings.vm in founders else ())
-
-
 def replica_settings(settings: RegistrarSettings, store: Store) -> ReplicaSettings:
     """Return the replica's settings."""
     return ReplicaSettings(
--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -25,8 +25,9 @@
     VoteRequest,
 )
 from kumquatmux_agreement.messages import Message as ReplicaMessage
+from kumquatmux_core.addresses import is_ip_number, is_sendable
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import VmId, is_ip_number, is_sendable
+from kumquatmux_core.identity import VmId
 from kumquatmux_core.problems import Problem
 from kumquatmux_registry.feed import FeedAnswer, FeedPoll
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
--- a/libs/daemons/tests/test_registrar_core.py
+++ b/libs/daemons/tests/test_registrar_core.py
@@ -19,7 +19,8 @@
     ReportCall,
 )
 from kumquatmux_daemons.registrar.core import Answered, CoreParts, RegistrarCore
-from kumquatmux_daemons.registrar.daemon import open_store, replica_settings
+from kumquatmux_daemons.registrar.daemon import replica_settings
+from kumquatmux_daemons.registrar.folder import open_store
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
--- a/libs/daemons/tests/test_registrar_start.py
+++ b/libs/daemons/tests/test_registrar_start.py
@@ -14,11 +14,8 @@
 from kumquatmux_daemons.early_signals import EarlySignals
 from kumquatmux_daemons.plain_http.server import HttpAnswer, listen
 from kumquatmux_daemons.registrar.calls import Outcome
-from kumquatmux_daemons.registrar.daemon import (
-    RegistrarParts,
-    open_store,
-    run_registrar,
-)
+from kumquatmux_daemons.registrar.daemon import RegistrarParts, run_registrar
+from kumquatmux_daemons.registrar.folder import open_store
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
 from kumquatmux_daemons.running import Steering, Watch
 
--- a/tests/adapter/test_founding.py
+++ b/tests/adapter/test_founding.py
@@ -26,8 +26,9 @@
     CoreParts,
     RegistrarCore,
 )
-from kumquatmux_daemons.registrar.daemon import TICK_S, open_store, replica_settings
+from kumquatmux_daemons.registrar.daemon import TICK_S, replica_settings
 from kumquatmux_daemons.registrar.first_start import FILE_NAME
+from kumquatmux_daemons.registrar.folder import open_store
 from kumquatmux_platform.first_start import note_first_start
 from kumquatmux_platform.node_file import read_node_file, registrar_settings
 from kumquatmux_registry.saved import SavedServers
