Wait a moment for a settings file that is being replaced

Callers saw: nothing; the platform saw a program end by itself with code 2 when it was started while its settings file was cut short or odd for 0.2 s. Cause: the file was read once at a start, while a running program keeps what it has and looks again. Ruled out: SIGHUP, which a running program survives with the same files. Change: a start reads the file again for 2 s before it gives up with the same line and code; a signal to stop ends the waiting with 0. The new test needs the wait: without it the program returns 2 at its first read.

--- a/libs/daemons/src/kumquatmux_daemons/running.py
+++ b/libs/daemons/src/kumquatmux_daemons/running.py
@@ -7,17 +7,20 @@
 import resource
 import signal
 import sys
-import traceback
+import time
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import NamedTuple, TypeVar
 
 import trio
+from expression import Result
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_core.lines import LineWriter
+from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.early_signals import SIGNALS, EarlySignals
+from kumquatmux_daemons.failures import DETAIL_CHARACTERS, place_of
 from kumquatmux_registry.follower import Follower
 
 EXIT_OK = 0
@@ -29,15 +32,20 @@
 SETTINGS_BYTES = 1_048_576
 """Longest settings file."""
 
+SETTINGS_WAIT_S = 2.0
+"""Seconds in which a settings file that is not sound may yet be replaced at a start."""
+
+SETTINGS_RETRY_S = 0.1
+
 LINES_S = 0.1
 """Seconds between writes of lines while a program prepares its parts."""
 
-DETAIL_CHARACTERS = 200
-"""Longest text of an error in a log line."""
-
 Part = TypeVar("Part")
 """What a program prepares before it serves."""
 
+Sound = TypeVar("Sound")
+"""Settings that a program can start with."""
+
 
 class Watch(NamedTuple):
     """The settings file and how the part of it is read that may change.
@@ -163,6 +171,23 @@
         return b""
 
 
+def read_when_sound(
+    read: Callable[[], Result[Sound, Problem]], early: EarlySignals
+) -> Result[Sound, Problem]:
+    """Return what is read at a start, reading again while the file may be replaced.
+
+    Args:
+        read: Returns the settings, or what is wrong with them.
+        early: Signals that have come; one to stop ends the waiting.
+    """
+    give_up_at = time.monotonic() + SETTINGS_WAIT_S
+    while True:
+        settings = read()
+        if settings.is_ok() or early.asks_to_stop or time.monotonic() >= give_up_at:
+            return settings
+        time.sleep(SETTINGS_RETRY_S)
+
+
 def log_launch(role: str) -> None:
     """Log what a program runs on: interpreter, processor, descriptors."""
     log_decision(
@@ -177,14 +202,13 @@
 def log_failure(failure: BaseException) -> None:
     """Log each error that ends a program, with the place in the code."""
     for error in _single_errors(failure):
-        frames = traceback.extract_tb(error.__traceback__)
-        last = frames[-1] if frames else None
+        place, function = place_of(error)
         log_decision(
             "program-failed",
             error=type(error).__name__,
             detail=str(error)[:DETAIL_CHARACTERS],
-            place=f"{Path(last.filename).name}:{last.lineno}" if last else "",
-            function=last.name if last else "",
+            place=place,
+            function=function,
         )
 
 
--- a/tests/adapter/test_programs.py
+++ b/tests/adapter/test_programs.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -202,3 +203,25 @@
     ended = subprocess.run(command, stdout=writer, stderr=writer, env=environment)
     os.close(writer)
     assert ended.returncode == 2
+
+
+# Guards against a program that ends since its settings file was just being replaced.
+def test_settings_that_are_replaced_meanwhile_are_waited_for(
+    tmp_path, monkeypatch, capsys
+):
+    path = tmp_path / "settings.json"
+    path.write_text("{")
+    monkeypatch.setenv("KUMQUATMUX_NODE_FILE", str(path))
+    sound = json.dumps({**NODE, "data-dir": str(tmp_path)})
+    monkeypatch.setattr(time, "sleep", lambda _: path.write_text(sound))
+    started = []
+
+    async def note(settings, surroundings):
+        started.append(settings.vm)
+
+    try:
+        assert program.run_program("control", registrar_settings, note) == 0
+    finally:
+        decisions.configure(as_json=False)
+    assert started == ["127.0.0.1"]
+    assert capsys.readouterr().err == ""
