Check records and say where errors were raised in one place each

Change: transport/intake.py uses the registry's problem_of and adds the address; running.log_failure uses failures.place_of.

--- a/libs/daemons/src/kumquatmux_daemons/failures.py
+++ b/libs/daemons/src/kumquatmux_daemons/failures.py
@@ -4,6 +4,7 @@
 
 import traceback
 from pathlib import Path
+from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
 
@@ -19,12 +20,31 @@
         error: The error.
         subject: What was handled.
     """
-    frames = traceback.extract_tb(error.__traceback__)
-    last = frames[-1] if frames else None
     log_decision(
         event,
         subject=subject,
         error=type(error).__name__,
         detail=str(error)[:DETAIL_CHARACTERS],
-        place=f"{Path(last.filename).name}:{last.lineno}" if last else "",
+        place=place_of(error).place,
     )
+
+
+class Place(NamedTuple):
+    """Where in the code an error was raised.
+
+    Attributes:
+        place: File and line, empty if unknown.
+        function: Function, empty if unknown.
+    """
+
+    place: str = ""
+    function: str = ""
+
+
+def place_of(error: BaseException) -> Place:
+    """Return where an error was raised."""
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return Place()
+    last = frames[-1]
+    return Place(f"{Path(last.filename).name}:{last.lineno}", last.name)
--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 from functools import singledispatch
 from typing import Any
@@ -31,7 +30,7 @@
 from kumquatmux_core.problems import Problem
 from kumquatmux_registry.feed import FeedAnswer, FeedPoll
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
-from kumquatmux_registry.records import ServerRecord
+from kumquatmux_registry.records import ServerRecord, problem_of
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
@@ -46,8 +45,6 @@
 
 TOKEN_LIMIT = 1 << 32
 FLOW_KEY_BYTES = 12
-MAX_SLOTS = 1 << 24
-MAX_WARM_UP_S = 1e6
 MAX_TRIED_TOKENS = 64
 MAX_SERVER_LOADS = 100_000
 MAX_COUNT = 1 << 32
@@ -196,25 +193,10 @@
 
 def record_problem(record: ServerRecord) -> str:
     """Return what makes a server's record unusable, an empty string if nothing does."""
-    report = record.report
-    texts = (
-        report.lifetime.name,
-        report.service,
-        report.zone,
-        report.version,
-        record.holder,
-    )
-    if not _are_texts(texts):
-        return "a text is too long"
-    if not _are_numbers((report.lifetime.born_ms, report.number, record.doubts)):
-        return "a number is out of bounds"
-    if not 0 < report.slots <= MAX_SLOTS:
-        return "slots out of bounds"
-    if not (math.isfinite(report.warm_up_s) and report.warm_up_s <= MAX_WARM_UP_S):
-        return "warm-up out of bounds"
-    if not is_sendable(report.endpoint):
-        return "endpoint is no address"
-    return ""
+    problem = problem_of(record)
+    if problem:
+        return problem
+    return "" if is_sendable(record.report.endpoint) else "endpoint is no address"
 
 
 def _is_taken(record: ServerRecord) -> bool:
