Refuse a body that comes in more than 4,096 parts

Cause: the length of a body was bounded, the number of its parts was not, and the parts that one read brings are taken without a pause. Change: 413 for a body in more than 4,096 parts.

--- a/libs/daemons/src/kumquatmux_daemons/plain_http/server.py
+++ b/libs/daemons/src/kumquatmux_daemons/plain_http/server.py
@@ -24,6 +24,9 @@
 BODY_BYTES = 1_048_576
 """Longest body taken; a longer one is refused with 413."""
 
+BODY_PARTS = 4096
+"""Most parts in which a body may come; one in more is refused with 413."""
+
 IDLE_S = 30.0
 """Seconds a connection may wait for its next call, or a call for its next bytes."""
 
@@ -205,8 +208,8 @@
         body = await _read_body(caller)
     if body is None:
         return False
-    if len(body) > BODY_BYTES:
-        await _send(caller, HttpAnswer(413))
+    if isinstance(body, HttpAnswer):
+        await _send(caller, body)
         return False
     call = HttpCall(request.method.decode(), request.target.decode(), body)
     answer = await handler(call)
@@ -216,18 +219,20 @@
     return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
 
-async def _read_body(caller: Caller) -> bytes | None:
-    """Return the body of a call, its begin if it is too long, None if it broke off."""
+async def _read_body(caller: Caller) -> bytes | HttpAnswer | None:
+    """Return the body of a call, a refusal if it is too long, None if it broke off."""
     body = bytearray()
-    while len(body) <= BODY_BYTES:
+    for _ in range(BODY_PARTS):
         event = await _next_event(caller)
         if isinstance(event, h11.EndOfMessage):
-            break
+            return bytes(body)
         if not isinstance(event, h11.Data):
             return None
         caller.place.hold(len(event.data))
         body += event.data
-    return bytes(body)
+        if len(body) > BODY_BYTES:
+            break
+    return HttpAnswer(413)
 
 
 async def _first_event(caller: Caller, shutdown: Shutdown) -> object:
--- a/libs/daemons/tests/test_plain_http.py
+++ b/libs/daemons/tests/test_plain_http.py
@@ -14,6 +14,7 @@
 from kumquatmux_daemons.plain_http.connections import ConnectionLimits, Connections
 from kumquatmux_daemons.plain_http.server import (
     BODY_BYTES,
+    BODY_PARTS,
     CALL_S,
     HttpAnswer,
     Shutdown,
@@ -65,6 +66,15 @@
     assert b" 413 " in await answer_to(data)
 
 
+# Guards against a body in parts of one byte, which kept all other calls waiting.
+async def test_a_body_in_too_many_parts_is_refused():
+    head = b"PUT / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    part = b"1\r\nx\r\n"
+    end = b"0\r\n\r\n"
+    assert b" 413 " in await answer_to(head + part * BODY_PARTS + end)
+    assert b" 200 " in await answer_to(head + part * (BODY_PARTS - 1) + end)
+
+
 async def test_where_and_when_to_call_again_are_told():
     async def elsewhere(call):
         return HttpAnswer(307, location="http://10.0.0.4:1/x", retry_after_s=1)
