Close a link's context when its port is taken

The test used ports 48118 and 48119 of 127.0.0.1, which another run of the same test, or any connection (they are in the range of ephemeral ports), may hold. And PeerLinks raised in its constructor with the key check's socket open: collecting such a context waits for that socket for good. Evidence: with port 48118 held the test fails with 'Address already in use'; a script of ten lines hangs in zmq's Context.term at gc.collect, and ends with the change. The new test fails without it (a context is open). Ruled out: load alone, five loops of libs/daemons beside a soak passed. Change: the context is destroyed before the error goes on; the test has an address of its process alone.

--- a/libs/daemons/src/kumquatmux_daemons/transport/links.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/links.py
@@ -80,7 +80,13 @@
         self.authenticator = _KeyCheck(self.context)
         self.authenticator.configure_curve_callback(credentials_provider=self)
         self.authenticator.start()
-        self.inbox = self._bind()
+        try:
+            self.inbox = self._bind()
+        except zmq.ZMQError:
+            # A context whose sockets are open would block when it is collected.
+            self.authenticator.stop()
+            self.context.destroy(0)
+            raise
         self.outboxes = {
             peer.vm: [self._connect(peer, key) for key in peer.public_keys]
             for peer in settings.peers
--- a/libs/daemons/tests/test_control_daemon.py
+++ b/libs/daemons/tests/test_control_daemon.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import datetime
+import os
 import ssl
 from pathlib import Path
 from random import Random
@@ -33,7 +34,10 @@
 from kumquatmux_settings.node import NodeSettings
 
 LIMIT_S = 30
-OPERATORS = Endpoint("127.0.0.1", 48119)
+LOOPBACK = f"127.42.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}"
+"""An address of this process alone, so that no other run has its ports."""
+
+OPERATORS = Endpoint(LOOPBACK, 48119)
 SERVER = "10.1.0.9:80"
 CHANGE = Change("c1", 0, "nok", "", ())
 
@@ -41,7 +45,7 @@
 @pytest.fixture
 def node(tmp_path):
     now = datetime.datetime.now(datetime.UTC) - datetime.timedelta(hours=1)
-    assert make_node_keys("c", ("127.0.0.1",), tmp_path, now).is_ok()
+    assert make_node_keys("c", (LOOPBACK,), tmp_path, now).is_ok()
     tokens = tmp_path / "tokens.toml"
     tokens.write_text(
         f'[[tokens]]\noperator = "nok"\naccess = "change"\n'
@@ -52,7 +56,7 @@
         "cnx-a",
         "th-north",
         "control",
-        Endpoint("127.0.0.1", 48118),
+        Endpoint(LOOPBACK, 48118),
         operators=OPERATORS,
         data_folder=tmp_path / "data",
         secret_key_file=tmp_path / "c.secret",
--- a/libs/daemons/tests/test_links.py
+++ b/libs/daemons/tests/test_links.py
@@ -1,12 +1,19 @@
 from __future__ import annotations
 
+import gc
 import socket
 
+import pytest
 import trio
 import zmq
 
 from kumquatmux_core.identity import Endpoint, VmId
-from kumquatmux_daemons.transport.links import LinkPeer, LinkSettings, open_links
+from kumquatmux_daemons.transport.links import (
+    LinkPeer,
+    LinkSettings,
+    PeerLinks,
+    open_links,
+)
 from kumquatmux_daemons.transport.registry import all_messages
 from kumquatmux_membership.events import LeaseRequest
 
@@ -95,3 +102,16 @@
     async with open_links(a_settings, all_messages()) as a:
         assert not a.send(VmId("b"), LeaseRequest(VmId("a")))
         assert not a.send(VmId("nobody"), LeaseRequest(VmId("a")))
+
+
+# Guards against a process that hangs for good after its port was found taken.
+def test_links_whose_port_is_taken_leave_no_context_open():
+    _, secret = zmq.curve_keypair()
+    with socket.socket() as holder:
+        holder.bind(("127.0.0.1", 0))
+        holder.listen()
+        taken = Endpoint(*holder.getsockname())
+        with pytest.raises(zmq.ZMQError):
+            PeerLinks(settings(taken, secret), all_messages())
+    contexts = [one for one in gc.get_objects() if isinstance(one, zmq.Context)]
+    assert all(one.closed for one in contexts)
