--- a/tests/programs/disturbances.py
+++ b/tests/programs/disturbances.py
@@ -45,7 +45,7 @@
         self.traffic = traffic
         self.faults: dict[str, int] = {}
         self.violations: list[str] = []
-        self.has_damaged = False
+        self.has_lost_disk = False
         self.sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sender.bind((programs.ip(240), 0))
         self.sender.setblocking(False)
@@ -85,11 +85,12 @@
                 await self._send_raw(address, odd.odd_bytes(self.random))
                 continue
             is_report = chosen < 0.65
-            call = (
-                odd.odd_report(self.random, self.programs.ip(250))
-                if is_report
-                else odd.odd_manifest(self.random, self.traffic.manifest(1))
-            )
+            if chosen < 0.35:
+                call = odd.usurping_report(self.random, self.traffic.ready_server())
+            elif is_report:
+                call = odd.odd_report(self.random, self.programs.ip(250))
+            else:
+                call = odd.odd_manifest(self.random, self.traffic.manifest(1))
             answer = await call_once(address, *call)
             if not is_report and 200 <= answer.status < 300:
                 self.violations.append(
@@ -193,31 +194,37 @@
             holder.close()
 
     async def damaged_file(self) -> None:
-        """Damage a file of a killed control VM; its folder is moved away later.
+        """Damage a file of a killed control VM for a while.
 
-        Once a run: the deployment bears the loss of one disk.
+        Then the file is as it was again, while the program waits for it, or, once a
+        run, the folder's files are moved away: the deployment bears the loss of a disk.
         """
-        if self.has_damaged:
-            return
-        self.has_damaged = True
         vm = self.random.choice(self.programs.controls)
         self.programs.kill(vm)
         while self.programs.is_running(vm):
             await asyncio.sleep(0.01)
         folder = self.programs.data_folder(vm)
-        names = [name for name in os.listdir(folder) if name != "lock"]
-        if names:
-            path = folder / self.random.choice(sorted(names))
-            content = bytearray(path.read_bytes() or b"\0")
-            content[self.random.randrange(len(content))] ^= 1 << self.random.randrange(
-                8
-            )
-            path.write_bytes(content)
+        is_repaired = self.has_lost_disk or self.random.random() < 0.5
+        names = sorted(name for name in os.listdir(folder) if name != "lock")
+        if is_repaired:
+            # A log may be cut at its end and go on, which a repair would undo.
+            names = [name for name in names if name in ("identity", "snapshot", "vote")]
+        if not names:
+            return
+        path = folder / self.random.choice(names)
+        sound = path.read_bytes()
+        content = bytearray(sound or b"\0")
+        content[self.random.randrange(len(content))] ^= 1 << self.random.randrange(8)
+        path.write_bytes(content)
         await asyncio.sleep(DAMAGED_S)
+        if is_repaired:
+            path.write_bytes(sound)
+            return
+        self.has_lost_disk = True
         away = folder.with_suffix(".away")
         away.mkdir()
-        for name in names:
-            if (folder / name).exists():
+        for name in os.listdir(folder):
+            if name != "lock":
                 (folder / name).rename(away / name)
         self.programs.kill(vm)
 
--- a/tests/programs/odd.py
+++ b/tests/programs/odd.py
@@ -9,6 +9,8 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from standins.servers import Server
+
 HUGE = 10**40
 NESTED = 20_000
 LONG = 60_000
@@ -107,6 +109,17 @@
     return OddCall(method, f"/v1/instances/{name}", odd_json(random, sound))
 
 
+def usurping_report(random: Random, server: Server) -> OddCall:
+    """Return a report of another writer under a server's id or its address."""
+    name = random.choice((server.name, f"i-{random.randrange(2**32):08x}"))
+    body = {
+        **server.body(),
+        "backend": OTHER_SERVICE,
+        "born": server.born + 1 + random.randrange(10**6),
+    }
+    return OddCall("PUT", f"/v1/instances/{name}", json.dumps(body).encode())
+
+
 def odd_manifest(random: Random, sound: dict[str, Any]) -> OddCall:
     """Return a manifest that can't be read, or isn't valid."""
     changed = dict(sound)
--- a/tests/programs/traffic.py
+++ b/tests/programs/traffic.py
@@ -103,6 +103,10 @@
         elif 400 <= answer.status < 500:
             self.violations.append(f"manifest {version} refused: {answer.body!r}")
 
+    def ready_server(self) -> Server:
+        """Return one of the servers that run."""
+        return next(one for one in self.servers if one.state == "ready")
+
     async def replace_server(self, random: Random) -> None:
         """Let a server leave, or crash, and start another one of its service."""
         server = random.choice([one for one in self.servers if one.state == "ready"])
