Ask no program to stop that was just killed

Cause: the soak sent SIGTERM to a program between its SIGKILL and its end, and then took the end for that of a graceful stop. Change: such a program is not asked. The check of exit codes stays as it is.

--- a/tests/programs/programs.py
+++ b/tests/programs/programs.py
@@ -57,8 +57,9 @@
             machine.process.send_signal(signal.SIGKILL)
 
     def terminate(self, machine: Machine) -> None:
-        """Ask a program to stop; it is started again."""
-        if self.is_running(machine) and machine.name not in self.stopping:
+        """Ask a program to stop, unless it was just killed; it is started again."""
+        is_ending = machine.is_killed or machine.name in self.stopping
+        if self.is_running(machine) and not is_ending:
             self.stopping.add(machine.name)
             machine.process.send_signal(signal.SIGTERM)
 
