--- a/libs/flows/src/kumquatmux_flows/batches.py
+++ b/libs/flows/src/kumquatmux_flows/batches.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from itertools import chain, repeat
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
@@ -75,11 +74,6 @@
         max_budget = max(rate * BURST_SECONDS, RECORD_BYTES + BATCH_HEADER_BYTES)
         self.byte_budget = min(self.byte_budget + rate * elapsed, max_budget)
 
-    @property
-    def has_budget(self) -> bool:
-        """Whether one more record may be sent now."""
-        return self.byte_budget >= RECORD_BYTES
-
     def send_open_batches(self, now: float) -> None:
         """Send all batches that hold records."""
         for vm in list(self.open_batches):
@@ -87,7 +81,7 @@
 
     def add_to_batch(self, slot: int, vm: VmId, now: float) -> None:
         """Add a record to the batch for a VM, or defer it for lack of budget."""
-        if not self.has_budget:
+        if self.byte_budget < RECORD_BYTES:
             self.defer_slot(slot)
             return
         batch = self.open_batches.setdefault(vm, [])
@@ -107,7 +101,7 @@
 
     def next_deferred_slot(self) -> int | None:
         """Remove and return the first deferred slot if the budget allows its record."""
-        if not self.deferred_slots or not self.has_budget:
+        if not self.deferred_slots or self.byte_budget < RECORD_BYTES:
             return None
         slot = self.deferred_slots.popleft()
         self.deferred_set.discard(slot)
@@ -145,24 +139,8 @@
             vm, expires_at, records
         )
         self.state.out.append(
-            SendMessage(
-                vm,
-                RecordBatch(
-                    self.last_batch_number, records, self.count_unanswered(records, now)
-                ),
-            )
-        )
-
-    def count_unanswered(
-        self, records: tuple[FlowRecord, ...], now: float
-    ) -> tuple[int, ...]:
-        """Return the unanswered packets of each record, empty if there are none."""
-        slots = [self.state.table.slots.get(record.key) for record in records]
-        counts = tuple(
-            0 if slot is None else self.silence_detector.carried_count(slot, now)
-            for slot in slots
+            SendMessage(vm, RecordBatch(self.last_batch_number, records))
         )
-        return counts if any(counts) else ()
 
     def expire_batches(self, now: float) -> None:
         """Forget batches that were not confirmed in time."""
@@ -177,23 +155,13 @@
     def handle_batch(self, sender: VmId, batch: RecordBatch, now: float) -> None:
         """Store the records of a batch and confirm it."""
         preferred_records = []
-        counts = chain(batch.unanswered_counts, repeat(0))
-        for record, count in zip(batch.records, counts, strict=False):
-            was_owner = self.owns_record(record)
+        for record in batch.records:
             own_record = self.store_record(record, now, always_replace=False)
             if own_record is not None:
                 preferred_records.append(own_record)
-            elif not was_owner:
-                slot = self.state.table.slots[record.key]
-                self.silence_detector.take_count(slot, record.key, count, now)
         confirmation = BatchStored(batch.batch_number, tuple(preferred_records))
         self.state.out.append(SendMessage(sender, confirmation))
 
-    def owns_record(self, record: FlowRecord) -> bool:
-        """Return whether this VM counts the flow of a record already as its owner."""
-        slot = self.state.table.slots.get(record.key)
-        return slot is not None and self.state.table.roles[slot] == Role.OWNER
-
     def store_record(
         self, record: FlowRecord, now: float, *, always_replace: bool
     ) -> FlowRecord | None:
--- a/libs/flows/src/kumquatmux_flows/messages.py
+++ b/libs/flows/src/kumquatmux_flows/messages.py
@@ -40,14 +40,10 @@
     Attributes:
         batch_number: Number of the batch at its sender.
         records: Records of the batch.
-        unanswered_counts: For each record, in the same order, the packets that the
-            server of the flow left unanswered although it answered others; empty if
-            there are none.
     """
 
     batch_number: int
     records: tuple[FlowRecord, ...]
-    unanswered_counts: tuple[int, ...] = ()
 
 
 class BatchStored(NamedTuple):
--- a/libs/flows/src/kumquatmux_flows/silence.py
+++ b/libs/flows/src/kumquatmux_flows/silence.py
@@ -31,14 +31,10 @@
     a server that is busy, down or cut off answers no flow at all. In case no other flow
     waits for an answer, a reference flow of the server is probed as well.
 
-    The count goes with the flow's record, so that the next owner goes on from it. It
-    still takes two probes of its own without an answer before that owner resets a flow.
-
     Attributes:
         reference_flows: Reference flow of each server number, one that it answered.
         probed_servers: Server numbers whose reference flow was probed without answer.
         probe_due_times: Time in seconds at which each probed flow is probed again.
-        newly_counted: Keys of flows whose count the backup VM has yet to learn.
     """
 
     def __init__(self, state: FlowState) -> None:
@@ -46,7 +42,6 @@
         self.reference_flows: dict[int, FlowKey] = {}
         self.probed_servers: set[int] = set()
         self.probe_due_times: dict[FlowKey, float] = {}
-        self.newly_counted: set[FlowKey] = set()
 
     def handle_reply_ack(self, slot: int, ack: int, now: float) -> None:
         """Handle the acknowledgement number of a reply.
@@ -146,62 +141,9 @@
             return
         elif state.routes.answer_times[table.servers[slot]] > last_counted_time:
             table.strikes[slot] = min(table.strikes[slot] + 1, WAS_RESET - 1)
-            self.note_newly_counted(slot)
         table.strike_times[slot] = now
         self.probe_reference_flow(slot)
 
-    def note_newly_counted(self, slot: int) -> None:
-        """Note that the backup VM has yet to learn the count of a flow."""
-        key = self.state.table.keys[slot]
-        if key is not None:
-            self.newly_counted.add(key)
-
-    def carried_count(self, slot: int, now: float) -> int:
-        """Return the count that the next owner of a flow may go on from.
-
-        An old count is not carried, and neither is one that this VM holds for another
-        owner if it saw a reply of the flow since.
-        """
-        table = self.state.table
-        count = self.limit_carried(slot, table.strikes[slot])
-        counted_time = table.strike_times[slot]
-        if now - counted_time > self.state.settings.probe_idle_seconds:
-            return 0
-        is_owner = table.roles[slot] == Role.OWNER
-        if not is_owner and table.reply_times[slot] > counted_time:
-            return 0
-        return count
-
-    def limit_carried(self, slot: int, count: int) -> int:
-        """Return the part of a count that is carried to another VM."""
-        settings = self.state.settings
-        if self.state.table.statuses[slot] != FlowStatus.ESTABLISHED:
-            return 0
-        limit = min(settings.probe_limit, settings.silent_retransmit_limit) - 1
-        return max(min(count, limit), 0)
-
-    def take_count(self, slot: int, key: FlowKey, count: int, now: float) -> None:
-        """Take the count that arrived with the record of a flow."""
-        table = self.state.table
-        carried = self.limit_carried(slot, count)
-        if table.roles[slot] == Role.OWNER:
-            self.resume_count(slot, key, carried, now)
-        elif table.strikes[slot] != WAS_RESET:
-            table.strikes[slot] = carried
-            table.strike_times[slot] = now
-
-    def resume_count(self, slot: int, key: FlowKey, count: int, now: float) -> None:
-        """Go on from the count of the last owner, with a probe of this VM first."""
-        state = self.state
-        if not count or state.probe_budget < 1.0 or not state.server_permitted(slot):
-            return
-        state.probe_budget -= 1.0
-        state.table.strikes[slot] = count
-        state.table.strike_times[slot] = now
-        self.probe_reference_flow(slot)
-        self.send_probes(slot, key)
-        self.probe_due_times[key] = now + state.settings.probe_interval_seconds
-
     def handle_retransmission(self, slot: int, segment: Segment, now: float) -> None:
         """Count a retransmission and reset the flow if the limit is exceeded."""
         state = self.state
--- a/libs/flows/src/kumquatmux_flows/sweep.py
+++ b/libs/flows/src/kumquatmux_flows/sweep.py
@@ -64,7 +64,6 @@
         self.silence_detector.probe_due_flows(now)
         for _ in range(self.take_due_slots(elapsed)):
             self.visit_next_slot(now)
-        self.send_new_counts(now)
         self.batch_exchange.send_open_batches(now)
         self.report_handover_complete(now)
 
@@ -75,19 +74,6 @@
             if key is not None:
                 self.visit_slot(slot, key, now)
 
-    def send_new_counts(self, now: float) -> None:
-        """Tell backup VMs of new counts of silent flows within the budget left."""
-        table = self.state.table
-        keys = self.silence_detector.newly_counted
-        self.silence_detector.newly_counted = set()
-        for key in sorted(keys):
-            slot = table.slots.get(key)
-            if slot is None or table.roles[slot] != Role.OWNER:
-                continue
-            backup_vm = self.caller_handler.backup_copies.backup_vm_of(slot)
-            if backup_vm is not None and self.batch_exchange.has_budget:
-                self.batch_exchange.add_to_batch(slot, backup_vm, now)
-
     def refill_budgets(self, elapsed: float) -> None:
         """Refill the byte and probe budgets for an elapsed time in seconds."""
         self.batch_exchange.refill_budget(elapsed)
@@ -182,9 +168,7 @@
                 self.hand_over(slot, owners[0], now)
             return
         if table.roles[slot] == Role.BACKUP:
-            count = self.silence_detector.carried_count(slot, now)
             state.take_ownership(slot, "owner-gone")
-            self.silence_detector.resume_count(slot, key, count, now)
         self.repair_backup(slot, now)
         self.silence_detector.offer_reference_flow(slot, key, now)
         self.silence_detector.probe_idle_flow(slot, key, now)
