--- a/libs/core/src/kumquatmux_core/codec.py
+++ b/libs/core/src/kumquatmux_core/codec.py
@@ -15,14 +15,11 @@
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.numbers import decode_extension, encode_numbers
-from kumquatmux_core.problems import Problem
+from kumquatmux_core.problems import DETAIL_CHARACTERS, Problem
 
 PROTOCOL_VERSION = 1
 HEADER_BYTES = 3
 
-DETAIL_CHARACTERS = 200
-"""Longest text of a decoding error, which may quote what was received."""
-
 _encoder = msgspec.msgpack.Encoder()
 
 
--- a/libs/core/src/kumquatmux_core/problems.py
+++ b/libs/core/src/kumquatmux_core/problems.py
@@ -4,6 +4,9 @@
 
 from typing import NamedTuple
 
+DETAIL_CHARACTERS = 200
+"""Longest detail that quotes what was received or what a library says of it."""
+
 
 class Problem(NamedTuple):
     """An error or a refused request, returned as the error of a ``Result``.
--- a/libs/daemons/src/kumquatmux_daemons/failures.py
+++ b/libs/daemons/src/kumquatmux_daemons/failures.py
@@ -7,9 +7,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
-
-DETAIL_CHARACTERS = 200
-"""Longest text of an error in a log line."""
+from kumquatmux_core.problems import DETAIL_CHARACTERS
 
 
 def log_contained(event: str, error: Exception, subject: str = "") -> None:
--- a/libs/daemons/src/kumquatmux_daemons/plain_http/server.py
+++ b/libs/daemons/src/kumquatmux_daemons/plain_http/server.py
@@ -12,6 +12,7 @@
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import Endpoint
+from kumquatmux_core.problems import DETAIL_CHARACTERS
 from kumquatmux_daemons.plain_http.connections import (
     Connections,
     DisplacedError,
@@ -33,9 +34,6 @@
 CALL_S = 30.0
 """Seconds in which a call has to arrive in full."""
 
-DETAIL_CHARACTERS = 200
-"""Longest text of an error in a line, which may quote what was received."""
-
 
 class HttpCall(NamedTuple):
     """One call.
--- a/libs/daemons/src/kumquatmux_daemons/registrar/folder.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/folder.py
@@ -15,7 +15,7 @@
     shared_founding_state,
 )
 from kumquatmux_core.identity import VmId
-from kumquatmux_core.problems import Problem
+from kumquatmux_core.problems import DETAIL_CHARACTERS, Problem
 from kumquatmux_daemons.registrar.first_start import FILE_NAME as FIRST_START
 from kumquatmux_daemons.registrar.first_start import noted_founders
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
@@ -23,7 +23,6 @@
 from kumquatmux_storage import Identity, Store, open_or_create
 from kumquatmux_storage.disk import Disk, open_folder, problem_from_os_error
 from kumquatmux_storage.files import (
-    DETAIL_CHARACTERS,
     LOG,
     RECOVERY_ADVICE,
     SNAPSHOT,
--- a/libs/daemons/src/kumquatmux_daemons/running.py
+++ b/libs/daemons/src/kumquatmux_daemons/running.py
@@ -18,9 +18,9 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_core.lines import LineWriter
-from kumquatmux_core.problems import Problem
+from kumquatmux_core.problems import DETAIL_CHARACTERS, Problem
 from kumquatmux_daemons.early_signals import SIGNALS, EarlySignals
-from kumquatmux_daemons.failures import DETAIL_CHARACTERS, place_of
+from kumquatmux_daemons.failures import place_of
 from kumquatmux_registry.follower import Follower
 
 EXIT_OK = 0
--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -89,24 +89,12 @@
 
 @_take_in.register
 def _(message: FeedPoll) -> Result[Any, Problem]:
-    numbers = (message.incarnation, message.position, message.members)
-    if (
-        message.document < 0
-        or not _are_numbers(numbers)
-        or not _are_texts((message.zone,))
-    ):
-        return _refused(OUT_OF_BOUNDS)
-    return Ok(message)
+    return Ok(message) if _is_feed_bounded(message) else _refused(OUT_OF_BOUNDS)
 
 
 @_take_in.register
 def _(message: FeedAnswer) -> Result[Any, Problem]:
-    numbers = (message.incarnation, message.since, message.position, message.members)
-    if (
-        message.document < 0
-        or not _are_numbers(numbers)
-        or not _are_texts((message.zone,))
-    ):
+    if not _is_feed_bounded(message, message.since):
         return _refused(OUT_OF_BOUNDS)
     return Ok(
         message._replace(
@@ -199,6 +187,13 @@
     return "" if is_sendable(record.report.endpoint) else "endpoint is no address"
 
 
+def _is_feed_bounded(message: FeedPoll | FeedAnswer, *others: int) -> bool:
+    """Return whether what both messages of the feed hold is in bounds."""
+    numbers = (message.incarnation, message.position, message.members, *others)
+    is_bounded = message.document >= 0 and _are_numbers(numbers)
+    return is_bounded and _are_texts((message.zone,))
+
+
 def _is_taken(record: ServerRecord) -> bool:
     problem = record_problem(record)
     if problem:
--- a/libs/registry/src/kumquatmux_registry/records.py
+++ b/libs/registry/src/kumquatmux_registry/records.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from kumquatmux_core.addresses import MAX_PORT
 from kumquatmux_core.identity import Endpoint, ServiceName, VmId, ZoneName
 
 TEXT_BYTES = 255
@@ -17,7 +18,6 @@
 
 LARGEST_SLOTS = 1_000_000
 LONGEST_WARM_UP_S = 86_400.0
-PORT_LIMIT = 65_536
 
 
 class Phase(IntEnum):
@@ -140,7 +140,7 @@
         return "the number of slots is out of range"
     if not 0 <= report.warm_up_s <= LONGEST_WARM_UP_S:
         return "the warm-up is out of range"
-    if not 0 < report.endpoint.port < PORT_LIMIT:
+    if not 0 < report.endpoint.port <= MAX_PORT:
         return "the port is out of range"
     return ""
 
--- a/libs/registry/src/kumquatmux_registry/saved.py
+++ b/libs/registry/src/kumquatmux_registry/saved.py
@@ -12,13 +12,12 @@
 from expression import Error, Ok, Result
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.problems import Problem
+from kumquatmux_core.problems import DETAIL_CHARACTERS, Problem
 from kumquatmux_registry.records import ServerRecord
 
 FILE_NAME = "servers"
 TEMPORARY_FILE_NAME = "servers.tmp"
 CHECKSUM_BYTES = 8
-DETAIL_CHARACTERS = 200
 
 
 class FileStorage(Protocol):
--- a/libs/storage/src/kumquatmux_storage/files.py
+++ b/libs/storage/src/kumquatmux_storage/files.py
@@ -11,7 +11,7 @@
 
 from kumquatmux_agreement.entries import Entry, Snapshot, VoteRecord
 from kumquatmux_core.identity import VmId
-from kumquatmux_core.problems import Problem
+from kumquatmux_core.problems import DETAIL_CHARACTERS, Problem
 from kumquatmux_storage import frames
 from kumquatmux_storage.disk import Disk
 
@@ -27,9 +27,6 @@
 NUMBER_END = 1 << 62
 """End of the numbers that records may hold, so that none can outgrow an encoding."""
 
-DETAIL_CHARACTERS = 200
-"""Longest part of an error message that a decoder gave."""
-
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError, MemoryError)
 """What a decoder raises for content that it cannot decode."""
 
