End a server's lifetime only where its reports stop

Cause: whatever spoke against a server ended it at once: a leave call, which names an id and no lifetime, and a report of another server at its address, which may be late or come from a clock that is ahead. How long ago the server itself had reported, and to whom, was not asked. Ruled out: naming the lifetime by the phase alone (a late leave call may find the next lifetime draining, too, and it still holds flows), a longer grace at entry VMs (hides an end that is wrong, and delays one that is right). Change: one place decides (endings.py). A later start under the same name ends a lifetime at once. A leave call, and a report at the same address, make it a last resort for new flows; only the VM that the server reports to ends it, after two reports have not come, and a leave call counts only against a lifetime that said that it drains. A leave call is passed on to all control VMs, as it may come to one that knows less. Silence does not count while the VM itself stood still. A report of a draining server undoes an end, too. An address that two servers claim is settled by who still reports.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -37,6 +37,7 @@
     ReportCall,
 )
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
+from kumquatmux_registry.endings import LeaveNotice
 from kumquatmux_registry.feed import FeedAnswer, FeedPoll
 from kumquatmux_registry.follower import Follower, FollowerSettings
 from kumquatmux_registry.leases import Leases
@@ -77,6 +78,9 @@
 LATE_REPORTS = 2.5
 """Reports a backend server may miss before it is late, beside its time to move on."""
 
+QUIET_REPORTS = 2.0
+"""Reports a backend server misses before its lifetime is over, if it seems to be."""
+
 MOVE_ON_S = 1.5
 """Seconds in which a backend server whose report failed reports elsewhere."""
 
@@ -134,7 +138,11 @@
         self.saved = parts.saved
         self.services_of = parts.services_of
         late = settings.report_period_s * LATE_REPORTS + MOVE_ON_S
-        registry = RegistrySettings(late_after_s=late, holder_silent_s=late + MOVE_ON_S)
+        registry = RegistrySettings(
+            late_after_s=late,
+            holder_silent_s=late + MOVE_ON_S,
+            quiet_s=settings.report_period_s * QUIET_REPORTS,
+        )
         self.leases = Leases(registry, settings.vm)
         self.publisher = Publisher(
             PublisherSettings(settings.vm, settings.zone, incarnation), self.leases
@@ -236,6 +244,10 @@
     def _(self, message: TokenAnswer, now: float) -> None:
         self.leases.merge(message.record, now)
 
+    @_handle_message.register
+    def _(self, message: LeaveNotice, now: float) -> None:
+        self._record_leave(message.name, now)
+
     @singledispatchmethod
     def _handle_call(self, call: Call, token: str, now: float) -> None:
         raise TypeError(f"unknown call {type(call).__name__}")
@@ -258,9 +270,9 @@
 
     @_handle_call.register
     def _(self, call: LeaveCall, token: str, now: float) -> None:
-        if self.leases.leave(call.name, now):
-            self._push(now)
-            self._save()
+        self._record_leave(call.name, now)
+        notice = LeaveNotice(self.settings.vm, call.name)
+        self.out.extend(Sent(vm, notice) for vm in self.follower.sources)
         self._answer(token, Answer(Outcome.DONE))
 
     @_handle_call.register
@@ -362,6 +374,11 @@
         self.pushed_at = now
         self.out.extend(Sent(vm, answer) for vm, answer in self.publisher.push(now))
 
+    def _record_leave(self, name: str, now: float) -> None:
+        if self.leases.leave(name, now):
+            self._push(now)
+            self._save()
+
     def _report_to(self, zone: ZoneName, now: float) -> Endpoint | None:
         """Return the control VM of a server's zone, None to let it choose."""
         if zone == self.settings.zone:
--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -35,6 +35,7 @@
 from kumquatmux_daemons.running import Steering
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams, every
 from kumquatmux_daemons.waiting import bind_when_possible, wait_for
+from kumquatmux_registry.endings import MESSAGE_TYPES as LEAVE_MESSAGES
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
 from kumquatmux_registry.saved import SavedServers
@@ -202,7 +203,9 @@
     saved = SavedServers(store.disk)
     core_parts = CoreParts(agreed, saved, parts.format.services_of)
     core = RegistrarCore(settings, core_parts, incarnation, trio.current_time())
-    messages = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES)
+    messages = registry(
+        REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES, LEAVE_MESSAGES
+    )
     peers = await bind_when_possible(
         partial(PeerDatagrams, messages=messages), settings.peers
     )
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -363,12 +363,13 @@
         return effects
 
     def _merge_one(self, record: ServerRecord, now: float) -> list[Effect]:
+        if not self.table.merge(record, now):
+            return []
         effects: list[Effect] = []
-        for changed in self.table.merge(record, now):
-            for held in self.router.store_record(changed, now):
-                effects += self._contained(
-                    "packet", self._route, held.header, held.data, now
-                )
+        for held in self.router.store_record(record, now):
+            effects += self._contained(
+                "packet", self._route, held.header, held.data, now
+            )
         return effects
 
     def _try_waiting(self, now: float) -> list[Effect]:
--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -28,6 +28,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_core.problems import Problem
+from kumquatmux_registry.endings import LeaveNotice
 from kumquatmux_registry.feed import FeedAnswer, FeedPoll
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.records import ServerRecord, problem_of
@@ -116,6 +117,11 @@
     return _refused(problem) if problem else Ok(message)
 
 
+@_take_in.register
+def _(message: LeaveNotice) -> Result[Any, Problem]:
+    return Ok(message) if _are_texts((message.name,)) else _refused(OUT_OF_BOUNDS)
+
+
 @_take_in.register
 def _(message: LoadShare) -> Result[Any, Problem]:
     if not _are_numbers((message.number, message.included_reservation)):
--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
@@ -29,6 +29,7 @@
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
 from kumquatmux_daemons.token_entry.core import Datagram, EntryCore
 from kumquatmux_daemons.token_entry.settings import EntrySettings
+from kumquatmux_registry.endings import MESSAGE_TYPES as LEAVE_MESSAGES
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
 from kumquatmux_registry.records import ServerRecord
@@ -39,7 +40,9 @@
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 
-MESSAGES = registry(REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES, TOKEN_MESSAGES)
+MESSAGES = registry(
+    REPLICA_MESSAGES, FEED_MESSAGES, LOOKUP_MESSAGES, LEAVE_MESSAGES, TOKEN_MESSAGES
+)
 CLUSTER = "lab"
 TICK_S = 0.05
 NEAR_S = 0.0004
--- /dev/null
+++ b/libs/registry/src/kumquatmux_registry/endings.py
@@ -0,0 +1,127 @@
+"""Evidence that ends the lifetime of a backend server, and how fresh it must be.
+
+A later start under the same name ends a lifetime at once: it takes the name's place in
+the table. All other evidence may be late, or concern another lifetime: a leave call
+names no lifetime, and a report at the same address may have been delayed. Such evidence
+ends a lifetime only if the VM that the server reports to has had no report of it for a
+while. A server that still reports refutes it.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from kumquatmux_core.identity import VmId
+from kumquatmux_registry.records import Lifetime, Phase, ServerRecord
+from kumquatmux_registry.settings import RegistrySettings
+from kumquatmux_registry.table import ServerTable, TableEntry
+
+
+class LeaveNotice(NamedTuple):
+    """Tells another control VM that a leave call came for a server.
+
+    Only the VM that the server reports to can tell which lifetime it concerns.
+    """
+
+    sender: VmId
+    name: str
+
+
+MESSAGE_TYPES: dict[int, type] = {0x0608: LeaveNotice}
+"""Message types by wire kind, for the message registry of a channel."""
+
+
+class Endings:
+    """Evidence against the servers that report to one control VM.
+
+    Attributes:
+        settings: Timeouts of the registry.
+        own_vm: Name of this control VM.
+        table: Records of all servers.
+        last_report_at: Time of the latest report received here from each server name,
+            in seconds of the monotonic clock.
+        left_lifetimes: Lifetime of each server for which a leave call came since its
+            latest report.
+        listening_since: Time since which this VM has received reports without a pause.
+        last_look_at: Time of the latest look at the leases.
+    """
+
+    def __init__(
+        self, settings: RegistrySettings, own_vm: VmId, table: ServerTable
+    ) -> None:
+        self.settings = settings
+        self.own_vm = own_vm
+        self.table = table
+        self.last_report_at: dict[str, float] = {}
+        self.left_lifetimes: dict[str, Lifetime] = {}
+        self.listening_since = math.inf
+        self.last_look_at = -math.inf
+
+    def record_report(self, name: str, now: float) -> None:
+        """Record that a server reported, which refutes a leave call before."""
+        self.last_report_at[name] = now
+        self.left_lifetimes.pop(name, None)
+
+    def record_leave(self, lifetime: Lifetime) -> None:
+        """Record a leave call for a server that reports to this VM."""
+        self.left_lifetimes[lifetime.name] = lifetime
+
+    def note_look(self, now: float) -> None:
+        """Note that the leases are looked at; after a gap this VM has stood still.
+
+        Reports that arrived during the gap may not have been read yet, so that silence
+        counts from now on.
+        """
+        if now > self.last_look_at + self.settings.paused_after_s:
+            self.listening_since = now
+        self.last_look_at = now
+
+    def evidence(self, record: ServerRecord) -> str:
+        """Return what speaks against a server, empty if nothing does.
+
+        A leave call counts only against a lifetime that said that it drains: otherwise
+        it is one of an earlier lifetime. A report at the same address counts if its
+        server started later and still reports.
+        """
+        lifetime = record.report.lifetime
+        has_left = self.left_lifetimes.get(lifetime.name) == lifetime
+        if has_left and record.report.phase == Phase.DRAINING:
+            return "left"
+        claimant = self.table.later_at_endpoint(record)
+        if claimant is not None and not claimant.record.is_late:
+            return "address-taken"
+        return ""
+
+    def is_suspect(self, record: ServerRecord) -> bool:
+        """Return whether a server has not reported since another took its address.
+
+        It gets no new flows until it reports again.
+        """
+        if record.holder != self.own_vm:
+            return False
+        claimant = self.table.later_at_endpoint(record)
+        return claimant is not None and self._has_not_reported_since(record, claimant)
+
+    def is_over(self, record: ServerRecord, now: float) -> bool:
+        """Return whether a lifetime is over, as only the server's holder can tell."""
+        if record.holder != self.own_vm or not self.evidence(record):
+            return False
+        reported_at = self.last_report_at.get(record.report.lifetime.name, -math.inf)
+        silent_since = max(reported_at, self.listening_since)
+        return silent_since < now - self.settings.quiet_s
+
+    def forget_unknown(self) -> None:
+        """Drop what is kept of servers that are not known any more."""
+        for name in self.last_report_at.keys() - self.table.held.keys():
+            del self.last_report_at[name]
+        for name, lifetime in list(self.left_lifetimes.items()):
+            record = self.table.get(name)
+            if record is None or record.report.lifetime != lifetime:
+                del self.left_lifetimes[name]
+
+    def _has_not_reported_since(
+        self, record: ServerRecord, claimant: TableEntry
+    ) -> bool:
+        name = record.report.lifetime.name
+        return self.last_report_at.get(name, -math.inf) <= claimant.changed_at
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -9,9 +9,10 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_core.problems import Problem
+from kumquatmux_registry.endings import Endings
 from kumquatmux_registry.records import Phase, Report, ServerRecord, problem_of
 from kumquatmux_registry.settings import RegistrySettings
-from kumquatmux_registry.table import ServerTable, mark_ended
+from kumquatmux_registry.table import ServerTable, TableEntry, mark_ended
 
 
 class Leases:
@@ -21,8 +22,7 @@
         settings: Timeouts of the registry.
         own_vm: Name of this control VM.
         table: Records of all servers, including those that report to other VMs.
-        last_report_at: Time of the latest report received here from each server name,
-            in seconds of the monotonic clock.
+        endings: Evidence that the lifetimes of servers are over.
         last_holder_message_at: Time of the latest message from each other control VM,
             in seconds of the monotonic clock.
         named_services: Services that the settings document names; empty while there
@@ -35,7 +35,7 @@
         self.settings = settings
         self.own_vm = own_vm
         self.table = ServerTable()
-        self.last_report_at: dict[str, float] = {}
+        self.endings = Endings(settings, own_vm, self.table)
         self.last_holder_message_at: dict[VmId, float] = {}
         self.named_services: frozenset[ServiceName] = frozenset()
         self.has_left_out = False
@@ -69,9 +69,7 @@
             return Error(Problem("other-server", detail, name))
         if report.number <= previous_report.number:
             return Ok(False)
-        if previous_report.phase == Phase.ENDED and report.phase != Phase.READY:
-            return Ok(False)
-        self.last_report_at[name] = now
+        self.endings.record_report(name, now)
         if self._is_significant(report, existing):
             return Ok(self._store_report(report, now))
         renewed = existing._replace(report=report)
@@ -80,12 +78,21 @@
         return Ok(False)
 
     def leave(self, name: str, now: float) -> bool:
-        """End the current lifetime of a server; return whether the record changed."""
+        """Process a leave call for a server; return whether the record changed.
+
+        The call names no lifetime and may be late. The server gets no new flows until
+        it reports again; ``expire`` ends its lifetime if it does not.
+        """
         existing = self.table.get(name)
         if existing is None or existing.report.phase == Phase.ENDED:
             return False
+        if existing.holder != self.own_vm:
+            return False
         log_decision("server-left", server=existing.report.lifetime)
-        return bool(self.table.merge(mark_ended(existing), now))
+        self.endings.record_leave(existing.report.lifetime)
+        if existing.is_late:
+            return False
+        return self.table.merge(existing.with_suspicion_toggled(), now)
 
     def merge(self, record: ServerRecord, now: float) -> bool:
         """Merge a record from another control VM; return whether to push an update.
@@ -102,7 +109,7 @@
         if is_refused or not is_known and not self._admits(record):
             self.has_left_out = True
             return False
-        changed = bool(self.table.merge(record, now))
+        changed = self.table.merge(record, now)
         if record.is_late and self._can_refute(record, now):
             self.table.republish(record.report.lifetime.name, now)
             return True
@@ -113,17 +120,16 @@
         self.last_holder_message_at[holder] = now
 
     def expire(self, now: float) -> bool:
-        """Mark servers that stopped reporting as late; return whether any changed.
+        """Judge servers that stopped reporting; return whether any record changed.
 
         Also removes the records of servers that ended long ago.
         """
+        self.endings.note_look(now)
         has_changes = False
         for entry in list(self.table.held.values()):
-            record = entry.record
-            is_settled = record.is_late or record.report.phase == Phase.ENDED
-            if is_settled or not self._is_overdue(record, entry.changed_at, now):
-                continue
-            has_changes |= bool(self.table.merge(record.with_suspicion_toggled(), now))
+            judged = self._judge(entry, now)
+            if judged is not None:
+                has_changes |= self.table.merge(judged, now)
         self.table.remove_ended(now - self.settings.ended_retention_s)
         self._forget_times(now)
         return has_changes
@@ -140,6 +146,25 @@
         for name in unnamed[: max(surplus, 0)]:
             self._forget(name)
 
+    def _judge(self, entry: TableEntry, now: float) -> ServerRecord | None:
+        """Return the record that replaces one for want of reports, None to keep it."""
+        record = entry.record
+        if record.report.phase == Phase.ENDED:
+            return None
+        if self.endings.is_over(record, now):
+            log_decision(
+                "server-over",
+                server=record.report.lifetime,
+                evidence=self.endings.evidence(record),
+            )
+            return mark_ended(record)
+        if record.is_late:
+            return None
+        is_overdue = self._is_overdue(record, entry.changed_at, now)
+        if is_overdue or self.endings.is_suspect(record):
+            return record.with_suspicion_toggled()
+        return None
+
     def _takes_from_one_in_use(self, report: Report) -> bool:
         """Return whether a server that is not named takes what a server in use has."""
         if self._is_named(report.service):
@@ -204,8 +229,7 @@
 
     def _forget_times(self, now: float) -> None:
         """Drop times that no lease depends on any more."""
-        for name in self.last_report_at.keys() - self.table.held.keys():
-            del self.last_report_at[name]
+        self.endings.forget_unknown()
         oldest_allowed = now - self.settings.holder_silent_s
         for holder, heard_at in list(self.last_holder_message_at.items()):
             if heard_at < oldest_allowed:
@@ -217,13 +241,13 @@
         existing = self.table.get(name)
         if existing is None or existing.report.lifetime != suspected.report.lifetime:
             return False
-        last_heard_at = self.last_report_at.get(name, -math.inf)
+        last_heard_at = self.endings.last_report_at.get(name, -math.inf)
         is_recent = last_heard_at > now - self.settings.late_after_s
         return existing.holder == self.own_vm and is_recent
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
         if record.holder == self.own_vm:
-            last_heard_at = self.last_report_at.get(
+            last_heard_at = self.endings.last_report_at.get(
                 record.report.lifetime.name, changed_at
             )
             return last_heard_at < now - self.settings.late_after_s
@@ -244,11 +268,16 @@
         return is_taken_over_or_recovered or is_warm_up_over or is_changed
 
     def _store_report(self, report: Report, now: float) -> bool:
+        name = report.lifetime.name
+        existing = self.table.get(name)
         record = ServerRecord(report, self.own_vm)
+        is_first = existing is None or existing.report.lifetime != report.lifetime
+        if is_first and self.table.later_at_endpoint(record) is not None:
+            record = record.with_suspicion_toggled()
         changed = self.table.merge(record, now)
         if changed:
-            self.last_report_at[report.lifetime.name] = now
-        return bool(changed)
+            self.endings.record_report(name, now)
+        return changed
 
 
 def _is_unused(record: ServerRecord) -> bool:
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -30,7 +30,7 @@
     Attributes:
         held: Entry with the newest record of each server name, oldest change first.
         name_by_token: Server name of each token.
-        name_by_endpoint: Name of the server that last claimed each endpoint.
+        name_by_endpoint: Name of the server with the latest start at each endpoint.
         count_by_service: Number of servers of each service.
         position: Sequence number of the latest change.
     """
@@ -47,19 +47,28 @@
         entry = self.held.get(name)
         return entry.record if entry else None
 
-    def merge(self, record: ServerRecord, now: float) -> list[ServerRecord]:
-        """Store a record if it is newer; return the records that changed.
+    def merge(self, record: ServerRecord, now: float) -> bool:
+        """Store a record if it is newer; return whether it was.
 
-        If two servers claim one endpoint, the one that started earlier is ended.
+        Two servers may claim one endpoint. This ends neither: a report may be late.
         """
-        name = record.report.lifetime.name
-        existing = self.get(name)
+        existing = self.get(record.report.lifetime.name)
         if existing is not None and record.sort_key <= existing.sort_key:
-            return []
-        changed = [self._store(record, now)]
+            return False
+        self._store(record, now)
         if record.report.phase != Phase.ENDED:
-            changed += self._claim_endpoint(record, now)
-        return changed
+            self._claim_endpoint(record)
+        return True
+
+    def later_at_endpoint(self, record: ServerRecord) -> TableEntry | None:
+        """Return the server with a later start at a record's endpoint, if any."""
+        name = self.name_by_endpoint.get(record.report.endpoint)
+        if name is None or name == record.report.lifetime.name:
+            return None
+        other = self.held[name]
+        if other.record.report.phase == Phase.ENDED:
+            return None
+        return other if _start_key(other.record) > _start_key(record) else None
 
     def republish(self, name: str, now: float) -> None:
         """Store a record again as a new change, refuting any suspicion."""
@@ -106,7 +115,7 @@
         if self.name_by_endpoint.get(endpoint) == record.report.lifetime.name:
             del self.name_by_endpoint[endpoint]
 
-    def _store(self, record: ServerRecord, now: float) -> ServerRecord:
+    def _store(self, record: ServerRecord, now: float) -> None:
         report = record.report
         name = report.lifetime.name
         self.position += 1
@@ -131,24 +140,14 @@
             late=record.is_late,
             holder=record.holder,
         )
-        return record
 
-    def _claim_endpoint(self, record: ServerRecord, now: float) -> list[ServerRecord]:
-        endpoint = record.report.endpoint
-        lifetime = record.report.lifetime
-        previous_name = self.name_by_endpoint.get(endpoint)
-        other_record = (
-            self.get(previous_name)
-            if previous_name not in (None, lifetime.name)
-            else None
-        )
-        if other_record is None or other_record.report.phase == Phase.ENDED:
-            self.name_by_endpoint[endpoint] = lifetime.name
-            return []
-        if other_record.report.lifetime.born_ms > lifetime.born_ms:
-            return [self._store(mark_ended(record), now)]
-        self.name_by_endpoint[endpoint] = lifetime.name
-        return [self._store(mark_ended(other_record), now)]
+    def _claim_endpoint(self, record: ServerRecord) -> None:
+        if self.later_at_endpoint(record) is None:
+            self.name_by_endpoint[record.report.endpoint] = record.report.lifetime.name
+
+
+def _start_key(record: ServerRecord) -> int:
+    return record.report.lifetime.born_ms
 
 
 def mark_ended(record: ServerRecord) -> ServerRecord:
