Let no unnamed service usurp a server before a manifest is known

Change: while no manifest is known, no service takes the name of another one's server that is in use. In every table, also those of entry VMs, a server of a named service goes before one that is not named, whatever its start; where records of two services came under one name, all are asked for again once other services are named.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -313,12 +313,8 @@
 
     def _name_services(self, services: frozenset[ServiceName]) -> None:
         """Take the services of a document; be told again of servers left out so far."""
-        is_changed = services != self.leases.named_services
-        self.leases.set_named_services(services)
-        if is_changed and self.leases.has_left_out:
-            self.leases.has_left_out = False
-            for source in self.follower.sources.values():
-                source.position = 0
+        if self.leases.set_named_services(services):
+            self.follower.request_all_records()
 
     def _answer_replies(self) -> None:
         replies = self.agreed.replies
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -298,6 +298,8 @@
         self.router.coordinators.set_entry_vms(self.follower.peers)
         if routes is not None:
             self.router.install_routes(routes, now)
+            if self.table.name_services(routes.services):
+                self.follower.request_all_records()
         effects = self._merge(message.records, now)
         if message.records or routes is not None:
             effects += self._try_waiting(now)
--- a/libs/daemons/tests/test_registrar_core.py
+++ b/libs/daemons/tests/test_registrar_core.py
@@ -115,16 +115,16 @@
 # Guards against servers that are bounded by the services of no document.
 def test_the_services_of_the_document_in_force_are_those_named():
     core = start(MemoryDisk())
-    assert core.leases.named_services == frozenset()
+    assert core.leases.table.named_services == frozenset()
     answer_to(core, PutDocument(7, b"entries"))
-    assert core.leases.named_services == {b"entries"}
+    assert core.leases.table.named_services == {b"entries"}
 
 
 # Guards against a server that stays unknown here as its service was named later.
 def test_servers_left_out_are_asked_for_again_once_other_services_are_named():
     core = start(MemoryDisk())
     answer_to(core, PutDocument(7, b"entries"))
-    core.leases.named_services = frozenset(["entries"])
+    core.leases.table.named_services = frozenset(["entries"])
     answer_to(core, ReportCall(REPORT))
     other = REPORT._replace(lifetime=Lifetime("i-2", 9), service="pagesetter")
     record = ServerRecord(other, OTHER)
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -360,3 +360,30 @@
     core.message("c1", answer(server(1), document=3, content=b"3"), 0.2)
     assert core.router.route_table.document_number == 3
     assert core.counts["failed.message"] == 1
+
+
+def usurper_of(record):
+    report = record.report
+    later = report.lifetime._replace(born_ms=99)
+    return record._replace(report=report._replace(lifetime=later, service="nosuch"))
+
+
+# Guards against a reset of flows of a server under whose id another service reported.
+def test_a_server_of_a_named_service_is_usurped_by_no_other(core):
+    sound = server(1)
+    core.message("c1", answer(sound, document=3, content=b"3"), 0.1)
+    core.message("c2", answer(usurper_of(sound)), 0.2)
+    (forwarded,) = core.packet(b"data 7 %d" % sound.token, 2.0)
+    assert forwarded.target == sound.report.endpoint
+
+
+# Guards against a server that stays unknown since a usurper came before any document.
+def test_records_are_asked_for_again_where_a_usurper_came_first(core):
+    sound = server(1)
+    core.message("c1", answer(usurper_of(sound)), 0.1)
+    core.message("c1", answer(sound), 0.2)
+    assert core.table.get("i-1").report.service == "nosuch"
+    core.message("c1", answer(document=3, content=b"3"), 0.3)
+    assert core.follower.sources["c1"].position == 0
+    core.message("c1", answer(sound), 0.4)
+    assert core.table.get("i-1") == sound
--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -181,6 +181,11 @@
             self.peers = source.entries
         self._store_document(answer)
 
+    def request_all_records(self) -> None:
+        """Have the next answers carry all records again."""
+        for source in self.sources.values():
+            source.position = 0
+
     def has_more(self, answer: FeedAnswer) -> bool:
         """Return whether the answer may be a full page, which others follow.
 
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -25,8 +25,6 @@
         endings: Evidence that the lifetimes of servers are over.
         last_holder_message_at: Time of the latest message from each other control VM,
             in seconds of the monotonic clock.
-        named_services: Services that the settings document names; empty while there
-            is no document.
         has_left_out: Whether a server that another VM told of was left out since the
             services were named.
     """
@@ -37,7 +35,6 @@
         self.table = ServerTable()
         self.endings = Endings(settings, own_vm, self.table)
         self.last_holder_message_at: dict[VmId, float] = {}
-        self.named_services: frozenset[ServiceName] = frozenset()
         self.has_left_out = False
 
     def report(self, report: Report, now: float) -> Result[bool, Problem]:
@@ -134,9 +131,17 @@
         self._forget_times(now)
         return has_changes
 
-    def set_named_services(self, services: frozenset[ServiceName]) -> None:
-        """Take the services that the settings document names."""
-        self.named_services = services
+    def set_named_services(self, services: frozenset[ServiceName]) -> bool:
+        """Set the services that the settings document names.
+
+        Returns:
+            Whether the other VMs must send all records again, as servers that they told
+            of were left out.
+        """
+        is_changed = services != self.table.named_services
+        is_missing = self.table.name_services(services)
+        is_missing |= is_changed and self.has_left_out
+        self.has_left_out &= not is_changed
         surplus = self._unnamed_count() - self.settings.max_unnamed_records
         unnamed = [
             name
@@ -145,6 +150,7 @@
         ]
         for name in unnamed[: max(surplus, 0)]:
             self._forget(name)
+        return is_missing
 
     def _judge(self, entry: TableEntry, now: float) -> ServerRecord | None:
         """Return the record that replaces one for want of reports, None to keep it."""
@@ -166,25 +172,36 @@
         return None
 
     def _takes_from_one_in_use(self, report: Report) -> bool:
-        """Return whether a server that is not named takes what a server in use has."""
-        if self._is_named(report.service):
+        """Return whether a server takes what another service's server in use has.
+
+        One that is not named takes neither name nor endpoint of one that is. While no
+        document is known, none takes the name of a server of another service.
+        """
+        service = report.service
+        name = report.lifetime.name
+        if not self.table.named_services:
+            return self._is_in_use(name) and not self._is_of(name, service)
+        if self._is_named(service):
             return False
-        names = (report.lifetime.name, self.table.name_by_endpoint.get(report.endpoint))
-        return any(self._is_in_use(name) for name in names)
+        names = (name, self.table.name_by_endpoint.get(report.endpoint))
+        return any(self._is_in_use(one) for one in names)
 
     def _is_in_use(self, name: str | None) -> bool:
         entry = self.table.held.get(name) if name is not None else None
-        if entry is None or _is_unused(entry.record):
+        if entry is None or entry.record.is_unused:
             return False
         return self._is_named(entry.record.report.service)
 
+    def _is_of(self, name: str, service: ServiceName) -> bool:
+        return self.table.held[name].record.report.service == service
+
     def _admits(self, record: ServerRecord) -> bool:
         """Return whether a server that another VM tells of may be stored.
 
         One that is late or ended displaces no other: two VMs would go on for ever.
         """
         service = record.report.service
-        if _is_unused(record):
+        if record.is_unused:
             return self._has_room(self._is_named(service))
         return self._make_room(service)
 
@@ -219,13 +236,13 @@
         return sum(count for service, count in counts if not self._is_named(service))
 
     def _is_named(self, service: ServiceName) -> bool:
-        return not self.named_services or service in self.named_services
+        return self.table.is_named(service)
 
     def _may_be_displaced(self, record: ServerRecord, by_named: bool) -> bool:
         is_named = self._is_named(record.report.service)
         if by_named:
-            return _is_unused(record) or not is_named
-        return _is_unused(record) and not is_named
+            return record.is_unused or not is_named
+        return record.is_unused and not is_named
 
     def _forget_times(self, now: float) -> None:
         """Drop times that no lease depends on any more."""
@@ -278,8 +295,3 @@
         if changed:
             self.endings.record_report(name, now)
         return changed
-
-
-def _is_unused(record: ServerRecord) -> bool:
-    """Return whether a server gets no new flows."""
-    return record.is_late or record.report.phase == Phase.ENDED
--- a/libs/registry/src/kumquatmux_registry/records.py
+++ b/libs/registry/src/kumquatmux_registry/records.py
@@ -99,6 +99,11 @@
         """Whether the server is suspected because its reports stopped arriving."""
         return self.doubts % 2 == 1
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether the server gets no new flows, as it is late or has ended."""
+        return self.is_late or self.report.phase == Phase.ENDED
+
     @property
     def sort_key(self) -> tuple[int, int, bool, int]:
         """Sort key for records of one server name; the highest rank is the newest."""
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -33,6 +33,10 @@
         name_by_endpoint: Name of the server with the latest start at each endpoint.
         count_by_service: Number of servers of each service.
         position: Sequence number of the latest change.
+        named_services: Services that the settings document names; empty while there
+            is no document.
+        has_conflicts: Whether records of two services came under one name since the
+            services were named.
     """
 
     def __init__(self) -> None:
@@ -41,6 +45,8 @@
         self.name_by_endpoint: dict[Endpoint, str] = {}
         self.count_by_service: Counter[ServiceName] = Counter()
         self.position = 0
+        self.named_services: frozenset[ServiceName] = frozenset()
+        self.has_conflicts = False
 
     def get(self, name: str) -> ServerRecord | None:
         """Return the record of a server name, or None if there is none."""
@@ -53,13 +59,31 @@
         Two servers may claim one endpoint. This ends neither: a report may be late.
         """
         existing = self.get(record.report.lifetime.name)
-        if existing is not None and record.sort_key <= existing.sort_key:
-            return False
+        if existing is not None:
+            self.has_conflicts |= existing.report.service != record.report.service
+            if not self._goes_before(record, existing):
+                return False
         self._store(record, now)
         if record.report.phase != Phase.ENDED:
             self._claim_endpoint(record)
         return True
 
+    def is_named(self, service: ServiceName) -> bool:
+        """Return whether the document names a service; all are without a document."""
+        return not self.named_services or service in self.named_services
+
+    def name_services(self, services: frozenset[ServiceName]) -> bool:
+        """Set the named services; return whether all records are to be sent again.
+
+        They are if records of two services came under one name, as the one that goes
+        first now may have been left out.
+        """
+        is_changed = services != self.named_services
+        self.named_services = services
+        is_missing = is_changed and self.has_conflicts
+        self.has_conflicts &= not is_changed
+        return is_missing
+
     def later_at_endpoint(self, record: ServerRecord) -> TableEntry | None:
         """Return the server with a later start at a record's endpoint, if any."""
         name = self.name_by_endpoint.get(record.report.endpoint)
@@ -68,7 +92,8 @@
         other = self.held[name]
         if other.record.report.phase == Phase.ENDED:
             return None
-        return other if _start_key(other.record) > _start_key(record) else None
+        is_later = self._start_rank(other.record) > self._start_rank(record)
+        return other if is_later else None
 
     def republish(self, name: str, now: float) -> None:
         """Store a record again as a new change, refuting any suspicion."""
@@ -141,13 +166,27 @@
             holder=record.holder,
         )
 
+    def _goes_before(self, record: ServerRecord, existing: ServerRecord) -> bool:
+        """Return whether a record of the same name replaces the one in force.
+
+        A server of a service that the document names goes before one of another
+        service, unless it gets no new flows itself.
+        """
+        is_named = self.is_named(record.report.service)
+        was_named = self.is_named(existing.report.service)
+        if is_named and not was_named:
+            return True
+        if was_named and not is_named and not existing.is_unused:
+            return False
+        return record.sort_key > existing.sort_key
+
     def _claim_endpoint(self, record: ServerRecord) -> None:
         if self.later_at_endpoint(record) is None:
             self.name_by_endpoint[record.report.endpoint] = record.report.lifetime.name
 
-
-def _start_key(record: ServerRecord) -> int:
-    return record.report.lifetime.born_ms
+    def _start_rank(self, record: ServerRecord) -> tuple[bool, int]:
+        report = record.report
+        return (self.is_named(report.service), report.lifetime.born_ms)
 
 
 def mark_ended(record: ServerRecord) -> ServerRecord:
--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -261,7 +261,7 @@
 
 def bounded_leases():
     leases = Leases(BOUNDED, "c1")
-    leases.named_services = frozenset(["entries"])
+    leases.set_named_services(frozenset(["entries"]))
     return leases
 
 
@@ -404,11 +404,8 @@
     assert leases.report(odd, 3.0).ok is True
 
 
-USURPED = pytest.mark.xfail(strict=True, reason="servers-usurped-without-a-manifest")
-
-
 # Guards against the same while a control VM that has just started knows no manifest.
-@pytest.mark.parametrize("taken", [pytest.param("name", marks=USURPED), "address"])
+@pytest.mark.parametrize("taken", ["name", "address"])
 def test_without_a_manifest_no_other_service_takes_from_a_server_in_use(taken):
     leases = bounded_leases()
     leases.set_named_services(frozenset())
@@ -425,7 +422,7 @@
 
 # Guards against a server that stays out since another writer reported under its id or
 # address before a control VM knew it.
-@pytest.mark.parametrize("taken", [pytest.param("name", marks=USURPED), "address"])
+@pytest.mark.parametrize("taken", ["name", "address"])
 def test_a_server_of_a_named_service_goes_before_one_that_came_first(taken):
     leases = bounded_leases()
     odd = make_report(
--- a/libs/registry/tests/test_table.py
+++ b/libs/registry/tests/test_table.py
@@ -186,3 +186,28 @@
     assert set(table.held) == {"i-a"}
     assert set(table.name_by_token.values()) == {"i-a"}
     assert set(table.name_by_endpoint.values()) == {"i-a"}
+
+
+# Guards against a report of another service that hides a sound server for good.
+@pytest.mark.parametrize("is_known_first", [True, False])
+def test_a_server_of_a_named_service_goes_before_a_later_start(is_known_first):
+    table = ServerTable()
+    odd = make_record(born=99, service="nosuch")
+    if is_known_first:
+        table.name_services(frozenset(["entries"]))
+    table.merge(odd, 0.0)
+    assert table.merge(make_record(), 1.0) is is_known_first
+    assert table.name_services(frozenset(["entries"])) is not is_known_first
+    table.merge(make_record(), 2.0)
+    assert table.merge(odd, 3.0) is False
+    assert table.get("i-1").report.service == "entries"
+
+
+def test_records_are_asked_for_again_only_after_a_conflict_and_a_change():
+    table = ServerTable()
+    table.merge(make_record(), 0.0)
+    assert table.name_services(frozenset(["entries"])) is False
+    table.merge(make_record(born=99, service="nosuch"), 1.0)
+    assert table.name_services(frozenset(["entries"])) is False
+    assert table.name_services(frozenset(["entries", "nosuch"])) is True
+    assert table.name_services(frozenset(["entries"])) is False
