Reset no silent flow of a server that reports

Cause: (1) one followed control VM of a zone that is silent for 1.2 s counted as the whole zone's loss: zones-silent at 19.18 s, taken back at 19.69 s when the zone's other control VM had been asked. (2) By reading, and seen as lines on sound servers: an unanswered opening packet, here or at another VM of the zone and however old, completed the evidence, though a full server or a lossy link gives it, too; where 71 entry VMs share a service, "answers no other caller here" rests on one or two flows. Change: what is known of the reports decides: the record is late, or neither the server's zone nor the control VM that it reports to was heard of for 3.0 s, all known control VMs of the zone having been asked meanwhile. Unanswered opening packets only steer new flows, as before. Placing avoids a silent zone after 1.2 s, as before. The test that an unanswered opening packet completes the evidence stated this fault; the one in its place asks that it does not, also with 50 of them and another VM's report.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -404,6 +404,7 @@
         if silent != self.router.load_tracker.unreachable_zones:
             log_decision("zones-silent", zones=",".join(sorted(silent)))
         self.router.load_tracker.unreachable_zones = silent
+        self.router.lost_holders = self.follower.lost_vms(now)
 
     def _note_feed(self, now: float) -> None:
         is_fed = self.follower.is_fed(now)
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -377,6 +377,27 @@
     assert forwarded.target == sound.report.endpoint
 
 
+# Guards against a reset of flows whose server lives, though the control VM that it
+# reported to is lost: it reports to another one by the time that the flow is judged.
+@pytest.mark.parametrize("reports_on", [True, False])
+def test_the_loss_of_a_control_vm_resets_no_flow_of_its_zone(core, reports_on):
+    far = server(1)._replace(holder="c2")
+    far = far._replace(report=far.report._replace(zone="b"))
+    core.message("c1", answer(far, document=3, content=b"3"), 0.1)
+    core.message("c2", answer()._replace(sender="c2", zone="b"), 0.1)
+    renewed = far._replace(report=far.report._replace(number=2), holder="c1")
+    resets = []
+    for step in range(1, 60):
+        now = step / 10
+        records = (renewed,) if reports_on and step == 25 else ()
+        core.message("c1", answer(*records), now)
+        core.tick(now)
+        if step in (28, 30, 34, 42, 58):
+            sent = core.packet(b"data 7 %d" % far.token, now)
+            resets += [one for one in datagrams(sent) if one.startswith(b"reset")]
+    assert bool(resets) is not reports_on
+
+
 # Guards against a server that stays unknown since a usurper came before any document.
 def test_records_are_asked_for_again_where_a_usurper_came_first(core):
     sound = server(1)
--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -21,6 +21,8 @@
         seeds: Initial control VMs, which are polled permanently.
         silent_s: Seconds without an answer after which a control VM is considered
             unavailable.
+        lost_s: Seconds without an answer of any control VM of a zone after which the
+            zone's servers can reach none, as they would report elsewhere by then.
         source_retention_s: Seconds without an answer after which a control VM that is
             not a seed is removed.
         max_other_zones: Maximum number of other zones in which an entry VM follows
@@ -39,6 +41,7 @@
     is_control: bool
     seeds: tuple[VmId, ...]
     silent_s: float = 1.2
+    lost_s: float = 3.0
     source_retention_s: float = 20.0
     max_other_zones: int = 3
     page_size: int = 64
@@ -154,6 +157,23 @@
             zone for zone, heard in latest.items() if zone and heard < oldest_allowed
         )
 
+    def lost_vms(self, now: float) -> frozenset[VmId]:
+        """Return the control VMs of zones in which none was heard of for ``lost_s``.
+
+        All known ones of a zone are polled once those that are followed are silent.
+        """
+        oldest_allowed = now - self.settings.lost_s
+        heard_zones = {
+            source.zone
+            for source in self.sources.values()
+            if source.heard_at >= oldest_allowed
+        }
+        return frozenset(
+            vm
+            for vm, source in self.sources.items()
+            if source.zone and source.zone not in heard_zones
+        )
+
     def take(self, answer: FeedAnswer, now: float) -> None:
         """Process everything in an answer except its records."""
         self.add(answer.sender)
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -198,6 +198,25 @@
     assert mine.silent_zones(1.7) == frozenset()
 
 
+# Guards against the loss of one control VM that is taken for the loss of its zone.
+def test_control_vms_are_lost_once_none_of_their_zone_was_heard_for_long():
+    mine = make_follower(seeds=("c1", "c2", "c3"))
+    sources = [
+        make_publisher("c1", "a"),
+        make_publisher("c2", "b"),
+        make_publisher("c3", "b"),
+    ]
+    for source in sources:
+        poll_publisher(mine, source, 0.0)
+    poll_publisher(mine, sources[0], 2.0)
+    assert mine.silent_zones(2.9) == {"b"}
+    assert mine.lost_vms(2.9) == frozenset()
+    poll_publisher(mine, sources[0], 3.0)
+    assert mine.lost_vms(3.1) == {"c2", "c3"}
+    poll_publisher(mine, sources[2], 3.2)
+    assert mine.lost_vms(3.3) == frozenset()
+
+
 def test_one_available_control_vm_of_each_other_zone_is_polled():
     mine = make_follower(seeds=("c1", "c2", "c3"))
     for source in (
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -255,16 +255,6 @@
             and self.local_load_at(flow.token).last_answer_at <= flow.last_data_at
         )
 
-    def has_unanswered_syns(self, token: int) -> bool:
-        """Return whether a server left a SYN packet unanswered.
-
-        Reports of the other VMs of the zone count too.
-        """
-        if self.local_load_at(token).unanswered_syns:
-            return True
-        peer_load = self.peer_load.totals.get(token)
-        return peer_load is not None and peer_load.avoiding_vms > 0
-
     def remove_flow(self, flow_key: bytes) -> None:
         """Remove a flow and its load."""
         self._remove(flow_key)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -52,6 +52,8 @@
         last_served_at: Time when each service last had a server for a flow.
         last_full_at: Time when another VM last answered that a service's servers are
             full.
+        lost_holders: Control VMs of the zones that nothing has been heard of for long
+            enough that a live server would report to another one by now.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.reported_at = -math.inf
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
+        self.lost_holders: frozenset[VmId] = frozenset()
 
     def route_packet(self, header: PacketHeader, now: float) -> Decision:
         """Return the decision for a packet."""
@@ -345,19 +348,17 @@
         """Return whether a flow's server is gone, judged by two kinds of evidence.
 
         The caller retransmits while the server answers no caller of this VM. In
-        addition, the server's reports are overdue, its zone is unreachable, or SYN
-        packets to it went unanswered.
+        addition, its reports are overdue, or nothing is heard of its zone nor of the
+        control VM that it reports to. Unanswered SYN packets are no evidence: a server
+        that is full answers none, and goes on with the flows that it has.
         """
         if not header.payload_length or not self.load_tracker.is_server_unresponsive(
             header.flow_key, now
         ):
             return False
         is_zone_unreachable = record.report.zone in self.load_tracker.unreachable_zones
-        return (
-            record.is_late
-            or is_zone_unreachable
-            or self.load_tracker.has_unanswered_syns(record.token)
-        )
+        is_holder_lost = record.holder in self.lost_holders
+        return record.is_late or (is_zone_unreachable and is_holder_lost)
 
     def _decide_without_route(self, header: PacketHeader) -> Decision:
         if not self.route_table.document_number:
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -21,6 +21,7 @@
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 from kumquatmux_tokens.settings import TokenRouterSettings
+from kumquatmux_tokens.work import LoadShare, ServerLoad
 
 ROUTE_ADDRESS = bytes([198, 18, 0, 1, 1, 187])
 OTHER_ROUTE_ADDRESS = bytes([198, 18, 0, 2, 1, 187])
@@ -289,18 +290,32 @@
     )
 
 
-def test_unanswered_flow_is_reset_if_the_zone_is_unreachable():
-    record = make_server_record("i-1", zone="b")
-    router = make_router(record)
-    router.load_tracker.unreachable_zones = frozenset({"b"})
-    assert isinstance(retransmit(router, record.token), Reset)
-
-
-def test_unanswered_flow_is_reset_if_syns_are_unanswered_too():
-    record = make_server_record("i-1")
+# Guards against the loss of one control VM that is taken for the loss of its zone.
+@pytest.mark.parametrize("silent_zone", ["b", "c"])
+@pytest.mark.parametrize("lost_holder", ["c1", "c2"])
+def test_unanswered_flow_is_reset_if_its_zone_and_its_holder_are_lost(
+    silent_zone, lost_holder
+):
+    record = make_server_record("i-1", zone="b")._replace(holder="c1")
     router = make_router(record)
-    router.load_tracker.local_load_at(record.token).unanswered_syns = 1
-    assert isinstance(retransmit(router, record.token), Reset)
+    router.load_tracker.unreachable_zones = frozenset({silent_zone})
+    router.lost_holders = frozenset({lost_holder})
+    is_reset = isinstance(retransmit(router, record.token), Reset)
+    assert is_reset == ((silent_zone, lost_holder) == ("b", "c1"))
+
+
+# Guards against a reset of flows of a server that is full, or behind a lossy link.
+def test_unanswered_flow_is_not_reset_for_syns_that_are_unanswered_too():
+    record, other = make_server_record("i-1"), make_server_record("i-2")
+    router = make_router(record, other)
+    for caller in range(10, 60):
+        router.route_packet(make_syn(caller), NOW_S - 1.0)
+        router.route_packet(make_syn(caller, retransmission_count=1), NOW_S - 0.5)
+    assert router.load_tracker.local_load_at(record.token).unanswered_syns
+    router.load_tracker.peer_load.apply_report(
+        LoadShare("e2", 1, True, 0, (ServerLoad(record.token, 0, 1, True),)), NOW_S
+    )
+    assert isinstance(retransmit(router, record.token, times=9), Forward)
 
 
 def test_unanswered_flow_is_not_reset_without_further_evidence():
