Ignore a founding note that is no text

Cause: only the checksum was checked; a note in another encoding passed it. Change: such a note is ignored as a damaged one is, and another first start may write it.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/first_start.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/first_start.py
@@ -76,5 +76,8 @@
     checksum, _, body = data.partition(b"\n")
     if checksum != b"%08x" % zlib.crc32(body):
         return ()
-    names: list[VmId] = body.decode().split("\n")  # type: ignore[assignment]
+    try:
+        names: list[VmId] = body.decode().split("\n")  # type: ignore[assignment]
+    except UnicodeDecodeError:
+        return ()
     return tuple(names)
