Test the endings in a file of their own, and any order of calls

Change: the tests of endings.py move, unchanged, to test_endings.py; a hypothesis state machine of two control VMs, three servers and late calls checks that no VM ends a server that reports.

--- /dev/null
+++ b/libs/registry/tests/test_endings.py
@@ -0,0 +1,277 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from kumquatmux_core.identity import Endpoint
+from kumquatmux_registry.leases import Leases
+from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
+from kumquatmux_registry.settings import RegistrySettings
+
+SETTINGS = RegistrySettings(late_after_s=4.0, holder_silent_s=5.0)
+LOOK_S = 0.25
+REPORT_LOOKS = 5
+"""Looks at the leases from one report of a server to the next, 1.25 s."""
+
+REUSE_LOOKS = 8
+"""Looks after which the address of a server that ended is used again, 2 s."""
+
+
+def make_report(
+    number=1, born=1, phase=Phase.READY, name="i-1", port=1, service="entries"
+):
+    lifetime = Lifetime(name, born)
+    place = Endpoint("10.0.0.9", port)
+    return Report(lifetime, number, service, place, "a", "v1", 2, phase, 0.0)
+
+
+@pytest.fixture
+def leases():
+    return Leases(SETTINGS, "c1")
+
+
+def look_until(leases, start, end):
+    """Look at the leases four times a second, as a control VM does."""
+    for step in range(round((end - start) / LOOK_S) + 1):
+        leases.expire(start + step * LOOK_S)
+
+
+def phase_of(leases, name="i-1"):
+    return leases.table.get(name).report.phase
+
+
+# Guards against a leave call of an earlier lifetime that ends the one that runs now.
+@pytest.mark.parametrize("phase", [Phase.READY, Phase.DRAINING])
+def test_a_late_leave_ends_no_server_that_still_reports(leases, phase):
+    for number in range(1, 12):
+        now = number * 1.2
+        leases.report(make_report(number, born=2, phase=phase), now)
+        if number in (3, 6):
+            leases.leave("i-1", now + 0.01)
+        look_until(leases, now + 0.02, now + 1.1)
+        assert phase_of(leases) == phase
+    assert not leases.table.get("i-1").is_late
+
+
+# Guards against the same where reports stop for a while: it never said that it drains.
+def test_a_leave_of_a_server_that_never_drained_ends_nothing(leases):
+    leases.report(make_report(1), 0.0)
+    assert leases.leave("i-1", 1.0) is True
+    look_until(leases, 1.0, 60.0)
+    assert phase_of(leases) == Phase.READY
+    assert leases.table.get("i-1").is_late
+    leases.report(make_report(2), 60.1)
+    assert not leases.table.get("i-1").is_late
+
+
+def test_a_server_that_drained_and_left_is_over_once_it_is_quiet(leases):
+    leases.report(make_report(1), 0.0)
+    leases.report(make_report(2, phase=Phase.DRAINING), 1.0)
+    leases.expire(1.0)
+    leases.leave("i-1", 2.0)
+    look_until(leases, 1.25, 3.25)
+    assert phase_of(leases) == Phase.DRAINING
+    look_until(leases, 3.25, 3.75)
+    assert phase_of(leases) == Phase.ENDED
+    assert leases.leave("i-1", 4.0) is False
+
+
+# Guards against an end that no report could undo, though reports show that it lives.
+@pytest.mark.parametrize("phase", [Phase.READY, Phase.DRAINING])
+def test_an_ended_server_that_reports_again_is_known_again(leases, phase):
+    leases.report(make_report(1, phase=Phase.DRAINING), 0.0)
+    leases.leave("i-1", 1.0)
+    look_until(leases, 1.0, 4.0)
+    assert phase_of(leases) == Phase.ENDED
+    assert leases.report(make_report(1, phase=phase), 5.0).ok is False
+    assert leases.report(make_report(2, phase=phase), 5.0).ok is True
+    assert phase_of(leases) == phase
+
+
+# Guards against an end by a VM that hears no reports of the server: its holder does.
+def test_only_the_holder_ends_a_lifetime(leases):
+    held_elsewhere = ServerRecord(make_report(1, phase=Phase.DRAINING), "c2")
+    leases.merge(held_elsewhere, 0.0)
+    assert leases.leave("i-1", 1.0) is False
+    look_until(leases, 1.0, 30.0)
+    assert phase_of(leases) == Phase.DRAINING
+
+
+# Guards against silence that is counted while this VM stood still and read no reports.
+def test_a_vm_that_stood_still_ends_nothing_before_it_has_listened(leases):
+    leases.report(make_report(1, phase=Phase.DRAINING), 0.0)
+    look_until(leases, 0.0, 1.0)
+    leases.leave("i-1", 1.0)
+    look_until(leases, 9.0, 11.0)
+    assert phase_of(leases) == Phase.DRAINING
+    look_until(leases, 11.25, 12.0)
+    assert phase_of(leases) == Phase.ENDED
+
+
+def at_one_endpoint(name, born, number=1):
+    return make_report(number, born, name=name, service=f"of {name}")
+
+
+# Guards against a report of another server at the address that ends one that lives.
+@pytest.mark.parametrize("born", [1, 9])
+def test_an_address_reported_by_another_ends_no_server_that_still_reports(leases, born):
+    for number in range(1, 12):
+        now = number * 1.2
+        leases.report(at_one_endpoint("i-1", 5, number), now)
+        if number == 4:
+            leases.report(at_one_endpoint("i-2", born), now + 0.3)
+        look_until(leases, now + 0.5, now + 1.1)
+        assert phase_of(leases) == Phase.READY
+    assert not leases.table.get("i-1").is_late
+
+
+# Guards against new flows to a server whose address another one has by now.
+def test_a_quiet_server_is_over_once_another_has_its_address(leases):
+    leases.report(at_one_endpoint("i-1", 5), 0.0)
+    look_until(leases, 0.0, 2.0)
+    leases.report(at_one_endpoint("i-2", 9), 2.0)
+    leases.expire(2.25)
+    assert leases.table.get("i-1").is_late
+    look_until(leases, 2.5, 2.75)
+    assert phase_of(leases) == Phase.ENDED
+    assert phase_of(leases, "i-2") == Phase.READY
+
+
+# Guards against new flows to a server whose report was delayed until it was gone.
+def test_a_delayed_report_from_a_reused_endpoint_gets_no_flows(leases):
+    leases.report(at_one_endpoint("i-2", 9), 0.0)
+    leases.report(at_one_endpoint("i-1", 5), 1.0)
+    assert leases.table.get("i-1").is_late
+    look_until(leases, 1.0, 3.75)
+    assert phase_of(leases) == Phase.ENDED
+    assert phase_of(leases, "i-2") == Phase.READY
+
+
+class Server:
+    """A backend server that reports to one control VM, and its earlier reports."""
+
+    def __init__(self, name, port, born, holder):
+        self.name, self.port, self.born, self.holder = name, port, born, holder
+        self.number = 0
+        self.phase = Phase.READY
+        self.next_report = 0
+
+    def report(self):
+        self.number += 1
+        return make_report(self.number, self.born, self.phase, self.name, self.port)
+
+
+class EndingsMachine(RuleBasedStateMachine):
+    """Two control VMs, servers that come and go, and calls that arrive late."""
+
+    def __init__(self):
+        super().__init__()
+        self.vms = {vm: Leases(SETTINGS, vm) for vm in ("c1", "c2")}
+        self.positions = dict.fromkeys(self.vms, 0)
+        self.looks = 0
+        self.is_cut = False
+        self.servers = {}
+        self.free_at = {}
+        self.old_reports = []
+
+    @property
+    def now(self):
+        return self.looks * LOOK_S
+
+    @rule(looks=st.integers(1, 12))
+    def pass_time(self, looks):
+        for _ in range(looks):
+            self.looks += 1
+            for server in self.servers.values():
+                if self.looks >= server.next_report:
+                    self.send_report(server)
+            for leases in self.vms.values():
+                leases.expire(self.now)
+            self.exchange()
+
+    def send_report(self, server):
+        report = server.report()
+        self.old_reports.append(report)
+        self.vms[server.holder].report(report, self.now)
+        server.next_report = self.looks + REPORT_LOOKS
+
+    def exchange(self):
+        if self.is_cut:
+            return
+        for vm, leases in self.vms.items():
+            entries = leases.table.entries_after(self.positions[vm], 1000)
+            self.positions[vm] = leases.table.position
+            for other_vm, other in self.vms.items():
+                if other_vm != vm:
+                    other.hear_holder(vm, self.now)
+                    for entry in entries:
+                        other.merge(entry.record, self.now)
+
+    @rule(
+        name=st.sampled_from(["i-1", "i-2", "i-3"]),
+        port=st.integers(1, 2),
+        holder=st.sampled_from(["c1", "c2"]),
+    )
+    def start(self, name, port, holder):
+        is_used = any(server.port == port for server in self.servers.values())
+        if name in self.servers or is_used or self.looks < self.free_at.get(port, 0):
+            return
+        self.servers[name] = Server(name, port, 1000 + self.looks, holder)
+        self.looks += 1
+        self.send_report(self.servers[name])
+
+    @precondition(lambda self: self.servers)
+    @rule(data=st.data())
+    def drain(self, data):
+        server = self.servers[data.draw(st.sampled_from(sorted(self.servers)))]
+        server.phase = Phase.DRAINING
+        self.send_report(server)
+
+    @precondition(lambda self: self.servers)
+    @rule(data=st.data(), says_so=st.booleans(), vm=st.sampled_from(["c1", "c2"]))
+    def end(self, data, says_so, vm):
+        name = data.draw(st.sampled_from(sorted(self.servers)))
+        server = self.servers.pop(name)
+        self.free_at[server.port] = self.looks + REUSE_LOOKS
+        if says_so:
+            self.late_leave(name, vm)
+
+    @rule(name=st.sampled_from(["i-1", "i-2", "i-3"]), vm=st.sampled_from(["c1", "c2"]))
+    def late_leave(self, name, vm):
+        self.vms[vm].leave(name, self.now)
+        if not self.is_cut:
+            for leases in self.vms.values():
+                leases.leave(name, self.now)
+
+    @precondition(lambda self: self.old_reports)
+    @rule(data=st.data(), vm=st.sampled_from(["c1", "c2"]))
+    def late_report(self, data, vm):
+        place = data.draw(st.integers(0, len(self.old_reports) - 1))
+        self.vms[vm].report(self.old_reports[place], self.now)
+
+    @precondition(lambda self: self.servers)
+    @rule(data=st.data())
+    def move_on(self, data):
+        server = self.servers[data.draw(st.sampled_from(sorted(self.servers)))]
+        server.holder = "c2" if server.holder == "c1" else "c1"
+
+    @rule()
+    def cut_or_heal(self):
+        self.is_cut = not self.is_cut
+
+    @invariant()
+    def no_server_that_reports_is_ended(self):
+        for server in self.servers.values():
+            for leases in self.vms.values():
+                record = leases.table.get(server.name)
+                if record is not None and record.report.lifetime.born_ms == server.born:
+                    assert record.report.phase != Phase.ENDED
+
+
+# Guards against any order of calls, reports and cuts that ends a server that lives.
+EndingsMachine.TestCase.settings = hypothesis_settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
+TestEndings = EndingsMachine.TestCase
--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -67,128 +67,6 @@
     assert not leases.table.get("i-1").is_late
 
 
-def look_until(leases, start, end):
-    """Look at the leases four times a second, as a control VM does."""
-    for step in range(round((end - start) * 4) + 1):
-        leases.expire(start + step / 4)
-
-
-def leave_quietly(leases, name="i-1", now=1.0):
-    """Let a server that drains leave and report no more."""
-    leases.leave(name, now)
-    look_until(leases, now, now + 3.0)
-
-
-def phase_of(leases, name="i-1"):
-    return leases.table.get(name).report.phase
-
-
-# Guards against a leave call of an earlier lifetime that ends the one that runs now.
-@pytest.mark.parametrize("phase", [Phase.READY, Phase.DRAINING])
-def test_a_late_leave_ends_no_server_that_still_reports(leases, phase):
-    for number in range(1, 12):
-        now = number * 1.2
-        leases.report(make_report(number, born=2, phase=phase), now)
-        if number in (3, 6):
-            leases.leave("i-1", now + 0.01)
-        look_until(leases, now + 0.02, now + 1.1)
-        assert phase_of(leases) == phase
-    assert not leases.table.get("i-1").is_late
-
-
-# Guards against the same where reports stop for a while: it never said that it drains.
-def test_a_leave_of_a_server_that_never_drained_ends_nothing(leases):
-    leases.report(make_report(1), 0.0)
-    assert leases.leave("i-1", 1.0) is True
-    look_until(leases, 1.0, 60.0)
-    assert phase_of(leases) == Phase.READY
-    assert leases.table.get("i-1").is_late
-    leases.report(make_report(2), 60.1)
-    assert not leases.table.get("i-1").is_late
-
-
-def test_a_server_that_drained_and_left_is_over_once_it_is_quiet(leases):
-    leases.report(make_report(1), 0.0)
-    leases.report(make_report(2, phase=Phase.DRAINING), 1.0)
-    leases.expire(1.0)
-    leases.leave("i-1", 2.0)
-    look_until(leases, 1.25, 3.25)
-    assert phase_of(leases) == Phase.DRAINING
-    look_until(leases, 3.25, 3.75)
-    assert phase_of(leases) == Phase.ENDED
-    assert leases.leave("i-1", 4.0) is False
-
-
-# Guards against an end that no report could undo, though reports show that it lives.
-@pytest.mark.parametrize("phase", [Phase.READY, Phase.DRAINING])
-def test_an_ended_server_that_reports_again_is_known_again(leases, phase):
-    leases.report(make_report(1, phase=Phase.DRAINING), 0.0)
-    leave_quietly(leases)
-    assert phase_of(leases) == Phase.ENDED
-    assert leases.report(make_report(1, phase=phase), 5.0).ok is False
-    assert leases.report(make_report(2, phase=phase), 5.0).ok is True
-    assert phase_of(leases) == phase
-
-
-# Guards against an end by a VM that hears no reports of the server: its holder does.
-def test_only_the_holder_ends_a_lifetime(leases):
-    held_elsewhere = ServerRecord(make_report(1, phase=Phase.DRAINING), "c2")
-    leases.merge(held_elsewhere, 0.0)
-    assert leases.leave("i-1", 1.0) is False
-    look_until(leases, 1.0, 30.0)
-    assert phase_of(leases) == Phase.DRAINING
-
-
-# Guards against silence that is counted while this VM stood still and read no reports.
-def test_a_vm_that_stood_still_ends_nothing_before_it_has_listened(leases):
-    leases.report(make_report(1, phase=Phase.DRAINING), 0.0)
-    look_until(leases, 0.0, 1.0)
-    leases.leave("i-1", 1.0)
-    look_until(leases, 9.0, 11.0)
-    assert phase_of(leases) == Phase.DRAINING
-    look_until(leases, 11.25, 12.0)
-    assert phase_of(leases) == Phase.ENDED
-
-
-def at_one_endpoint(name, born, number=1):
-    return make_report(number, lifetime=Lifetime(name, born), service=f"of {name}")
-
-
-# Guards against a report of another server at the address that ends one that lives.
-@pytest.mark.parametrize("born", [1, 9])
-def test_an_address_reported_by_another_ends_no_server_that_still_reports(leases, born):
-    for number in range(1, 12):
-        now = number * 1.2
-        leases.report(at_one_endpoint("i-1", 5, number), now)
-        if number == 4:
-            leases.report(at_one_endpoint("i-2", born), now + 0.3)
-        look_until(leases, now + 0.5, now + 1.1)
-        assert phase_of(leases) == Phase.READY
-    assert not leases.table.get("i-1").is_late
-
-
-# Guards against new flows to a server whose address another one has by now.
-def test_a_quiet_server_is_over_once_another_has_its_address(leases):
-    leases.report(at_one_endpoint("i-1", 5), 0.0)
-    look_until(leases, 0.0, 2.0)
-    leases.report(at_one_endpoint("i-2", 9), 2.0)
-    leases.expire(2.25)
-    assert leases.table.get("i-1").is_late
-    look_until(leases, 2.5, 2.75)
-    assert phase_of(leases) == Phase.ENDED
-    assert phase_of(leases, "i-2") == Phase.READY
-
-
-# Guards against new flows to a server whose report was delayed until it was gone.
-def test_a_delayed_report_from_a_reused_endpoint_gets_no_flows(leases):
-    leases.report(at_one_endpoint("i-2", 9), 0.0)
-    leases.report(at_one_endpoint("i-1", 5), 1.0)
-    assert leases.table.get("i-1").is_late
-    look_until(leases, 1.0, 3.75)
-    assert phase_of(leases) == Phase.ENDED
-    assert phase_of(leases, "i-2") == Phase.READY
-
-
 def test_holder_refutes_suspicion_of_a_server_that_reports_to_it(leases):
     leases.report(make_report(1), 0.0)
     doubted = leases.table.get("i-1").with_suspicion_toggled()
@@ -343,7 +221,10 @@
     leases.hear_holder("c2", 0.0)
     report = leases.table.get("i-1").report
     leases.report(report._replace(number=2, phase=Phase.DRAINING), 0.5)
-    leave_quietly(leases)
+    leases.leave("i-1", 1.0)
+    for step in range(12):
+        leases.expire(1.0 + step / 4)
+    assert leases.table.get("i-1").report.phase == Phase.ENDED
     report_server(leases, 2, now=4.0)
     leases.leave("i-2", 4.0)
     assert leases.endings.left_lifetimes.keys() == {"i-1", "i-2"}
