--- a/tests/programs/disturbances.py
+++ b/tests/programs/disturbances.py
@@ -55,6 +55,7 @@
         self.steps: dict[str, Callable[[], Awaitable[None]]] = {
             "odd-calls": self.odd_calls,
             "usurping-reports": self.usurping_reports,
+            "late-leaves": self.late_leaves,
             "odd-datagrams": self.odd_datagrams,
             "odd-settings": self.odd_settings,
             "hang-up": self.hang_up,
@@ -114,6 +115,13 @@
             if 200 <= answer.status < 300:
                 self.violations.append(f"taken at {vm.name}: {call.body!r}")
 
+    async def late_leaves(self) -> None:
+        """Deliver leave calls of earlier lifetimes of servers in use."""
+        for _ in range(CALLS_A_STEP):
+            vm = self.random.choice(self.programs.controls)
+            address = f"{vm.ip}:{self.programs.ports.control}"
+            await call_once(address, *odd.late_leave(self.traffic.ready_server()))
+
     async def _knows_all(self, address: str) -> bool:
         """Return whether a control VM knows a manifest and all servers."""
         servers = await _gauge(address, SERVERS)
--- a/tests/programs/odd.py
+++ b/tests/programs/odd.py
@@ -120,6 +120,11 @@
     return OddCall("PUT", f"/v1/instances/{name}", json.dumps(body).encode())
 
 
+def late_leave(server: Server) -> OddCall:
+    """Return the leave call of an earlier lifetime of a server, delivered late."""
+    return OddCall("DELETE", f"/v1/instances/{server.name}", b"")
+
+
 def odd_manifest(random: Random, sound: dict[str, Any]) -> OddCall:
     """Return a manifest that can't be read, or isn't valid."""
     changed = dict(sound)
--- a/tests/programs/soak.py
+++ b/tests/programs/soak.py
@@ -35,6 +35,7 @@
     "odd-datagrams",
     "odd-datagrams",
     "odd-settings",
+    "late-leaves",
     "hang-up",
     "stop",
     "kill",
