--- a/tests/programs/disturbances.py
+++ b/tests/programs/disturbances.py
@@ -17,6 +17,7 @@
 from traffic import SERVERS_IN_USE, Traffic
 
 CALLS_A_STEP = 40
+LATE_LEAVES_A_STEP = 3
 DATAGRAMS_A_STEP = 150
 IDLE_CONNECTIONS = 120
 IDLE_S = 1.0
@@ -116,11 +117,18 @@
                 self.violations.append(f"taken at {vm.name}: {call.body!r}")
 
     async def late_leaves(self) -> None:
-        """Deliver leave calls of earlier lifetimes of servers in use."""
-        for _ in range(CALLS_A_STEP):
+        """Deliver leave calls of earlier lifetimes, each just after a report.
+
+        So the server has the longest time until its next report undoes an end.
+        """
+        for _ in range(LATE_LEAVES_A_STEP):
+            server = self.traffic.ready_server()
+            reported_at = server.reported_at
+            while server.state == "ready" and server.reported_at == reported_at:
+                await asyncio.sleep(0.01)
             vm = self.random.choice(self.programs.controls)
             address = f"{vm.ip}:{self.programs.ports.control}"
-            await call_once(address, *odd.late_leave(self.traffic.ready_server()))
+            await call_once(address, *odd.late_leave(server))
 
     async def _knows_all(self, address: str) -> bool:
         """Return whether a control VM knows a manifest and all servers."""
