--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -182,7 +182,8 @@
     assert source.followers == {}
 
 
-def test_zone_is_silent_when_no_control_vm_in_it_answers():
+def heard_sources():
+    """Return a follower and the three control VMs of two zones that it has heard."""
     mine = make_follower(seeds=("c1", "c2", "c3"))
     sources = [
         make_publisher("c1", "a"),
@@ -191,6 +192,11 @@
     ]
     for source in sources:
         poll_publisher(mine, source, 0.0)
+    return mine, sources
+
+
+def test_zone_is_silent_when_no_control_vm_in_it_answers():
+    mine, sources = heard_sources()
     assert mine.silent_zones(1.0) == frozenset()
     poll_publisher(mine, sources[0], 1.0)
     assert mine.silent_zones(1.5) == {"b"}
@@ -200,14 +206,7 @@
 
 # Guards against the loss of one control VM that is taken for the loss of its zone.
 def test_control_vms_are_lost_once_none_of_their_zone_was_heard_for_long():
-    mine = make_follower(seeds=("c1", "c2", "c3"))
-    sources = [
-        make_publisher("c1", "a"),
-        make_publisher("c2", "b"),
-        make_publisher("c3", "b"),
-    ]
-    for source in sources:
-        poll_publisher(mine, source, 0.0)
+    mine, sources = heard_sources()
     poll_publisher(mine, sources[0], 2.0)
     assert mine.silent_zones(2.9) == {"b"}
     assert mine.lost_vms(2.9) == frozenset()
