Say in the line of a reset what was heard of the server

Change: for an open flow the line names the server, its holder, whether it is late, and the seconds since this VM heard the holder and any control VM.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -16,7 +17,7 @@
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.follower import Follower, FollowerSettings
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
-from kumquatmux_registry.records import ServerRecord
+from kumquatmux_registry.records import Lifetime, ServerRecord
 from kumquatmux_registry.table import ServerTable
 from kumquatmux_tokens.packets import (
     Decision,
@@ -224,6 +225,7 @@
             opening=head.is_syn,
             token=head.token,
             document=self.router.route_table.document_number,
+            **self._reset_evidence(head, now),
         )
         reset = self.format.reset_for(data, decision.sequence_number)
         target = (self.format.caller_ip(data), self.settings.packets.port)
@@ -339,6 +341,29 @@
     def _(self, message: TokenAnswer, now: float) -> list[Effect]:
         return self._merge((message.record,), now)
 
+    def _reset_evidence(
+        self, head: PacketHeader, now: float
+    ) -> dict[str, Lifetime | VmId | bool | float]:
+        """Return what is known here of the server of a flow that is reset."""
+        entry = self.router.directory.by_token.get(head.token)
+        if entry is None:
+            return {}
+        record = entry.record
+        return {
+            "server": record.report.lifetime,
+            "holder": record.holder,
+            "late": record.is_late,
+            "holder_heard_s": self._heard_s(record.holder, now),
+            "control_heard_s": self._heard_s(None, now),
+        }
+
+    def _heard_s(self, vm: VmId | None, now: float) -> float:
+        """Return the seconds since a control VM, or any, was heard; -1 if never."""
+        sources = self.follower.sources
+        heard = [one.heard_at for name, one in sources.items() if vm in (name, None)]
+        latest = max(heard, default=-math.inf)
+        return round(now - latest, 2) if latest > -math.inf else -1.0
+
     def _read_document(self, answer: FeedAnswer, now: float) -> RouteSet | None:
         """Return the routes of a newer document, None if there is none to read.
 
