--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -106,3 +106,33 @@
     assert (line["holder"], line["late"]) == ("c2", True)
     assert line["holder_heard_s"] == pytest.approx(1.2)
     assert line["control_heard_s"] < 0.2
+
+
+# Guards against resets by a VM that stood still and has read no news since.
+@pytest.mark.xfail(strict=True, reason="reset-for-own-silence in KNOWN-RED.txt")
+def test_a_vm_that_stood_still_resets_no_flow_for_the_silence_of_others(core):
+    listen(core, 0.0, 2.9, "a", "b")
+    assert resets(core, 2.95) == []
+    core.tick(8.0)
+    assert resets(core, 8.0, 8.0, 8.0) == []
+
+
+# Guards against resets by a VM that is cut off from the control VMs, not from servers.
+@pytest.mark.xfail(strict=True, reason="reset-for-own-silence in KNOWN-RED.txt")
+def test_a_vm_that_hears_no_control_vm_resets_no_flow(core):
+    listen(core, 0.0, 2.0, "a", "b")
+    listen(core, 2.0, 5.0)
+    assert resets(core, 5.0) == []
+    listen(core, 5.0, 6.0)
+    assert resets(core, 5.7, 5.9) == []
+
+
+# Guards against resets of flows of a server that answers this VM while the control VMs
+# of its zone do not.
+@pytest.mark.xfail(strict=True, reason="reset-for-own-silence in KNOWN-RED.txt")
+def test_the_loss_of_a_zones_control_vms_resets_no_flow_of_a_server_that_lives(core):
+    listen(core, 0.0, 2.0, "a", "b")
+    listen(core, 2.0, 8.0, "a")
+    assert resets(core, 8.0) == []
+    listen(core, 8.0, 9.0, "a")
+    assert resets(core, 8.7, 8.9) == []
