Let Endings use Listening for its own pauses

Cause: Endings kept the time of its latest look and of its latest pause itself. Change: it holds a Listening, which Leases tells of each look. The behaviour stays. Result: the tests of libs/registry pass unchanged.

--- a/libs/registry/src/kumquatmux_registry/endings.py
+++ b/libs/registry/src/kumquatmux_registry/endings.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
+from kumquatmux_registry.listening import Listening
 from kumquatmux_registry.records import Lifetime, Phase, ServerRecord
 from kumquatmux_registry.settings import RegistrySettings
 from kumquatmux_registry.table import ServerTable, TableEntry
@@ -43,8 +44,8 @@
             in seconds of the monotonic clock.
         left_lifetimes: Lifetime of each server for which a leave call came since its
             latest report.
-        listening_since: Time since which this VM has received reports without a pause.
-        last_look_at: Time of the latest look at the leases.
+        listening: Silence that this VM may judge servers by; told of each look at the
+            leases.
     """
 
     def __init__(
@@ -55,8 +56,7 @@
         self.table = table
         self.last_report_at: dict[str, float] = {}
         self.left_lifetimes: dict[str, Lifetime] = {}
-        self.listening_since = math.inf
-        self.last_look_at = -math.inf
+        self.listening = Listening(settings.paused_after_s)
 
     def record_report(self, name: str, now: float) -> None:
         """Record that a server reported, which refutes a leave call before."""
@@ -67,16 +67,6 @@
         """Record a leave call for a server that reports to this VM."""
         self.left_lifetimes[lifetime.name] = lifetime
 
-    def note_look(self, now: float) -> None:
-        """Note that the leases are looked at; after a gap this VM has stood still.
-
-        Reports that arrived during the gap may not have been read yet, so that silence
-        counts from now on.
-        """
-        if now > self.last_look_at + self.settings.paused_after_s:
-            self.listening_since = now
-        self.last_look_at = now
-
     def evidence(self, record: ServerRecord) -> str:
         """Return what speaks against a server, empty if nothing does.
 
@@ -108,8 +98,7 @@
         if record.holder != self.own_vm or not self.evidence(record):
             return False
         reported_at = self.last_report_at.get(record.report.lifetime.name, -math.inf)
-        silent_since = max(reported_at, self.listening_since)
-        return silent_since < now - self.settings.quiet_s
+        return self.listening.silent_s(reported_at, now) > self.settings.quiet_s
 
     def forget_unknown(self) -> None:
         """Drop what is kept of servers that are not known any more."""
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -121,7 +121,7 @@
 
         Also removes the records of servers that ended long ago.
         """
-        self.endings.note_look(now)
+        self.endings.listening.note(now)
         has_changes = False
         for entry in list(self.table.held.values()):
             judged = self._judge(entry, now)
