Mark no server late on the silence of a control VM that stood still

Seen: in trials on the leases, a control VM that stood still for 5 s marked all its servers, and those of another holder, late at its first look, before it had read the reports that waited for it. Cause: being overdue counted from the last report read, whether or not this VM listened. Change: it counts what this VM listened through, as the end of a lifetime does already. Ruled out: refuting another VM's suspicion after a pause. The reports of a server whose holder stood still fail and go elsewhere, so one that is still suspected may be dead.

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -263,16 +263,16 @@
         return existing.holder == self.own_vm and is_recent
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
+        """Return whether this VM has listened for too long without a word."""
+        silent_s = self.endings.listening.silent_s
         if record.holder == self.own_vm:
-            last_heard_at = self.endings.last_report_at.get(
+            reported_at = self.endings.last_report_at.get(
                 record.report.lifetime.name, changed_at
             )
-            return last_heard_at < now - self.settings.late_after_s
-        oldest_allowed = now - self.settings.holder_silent_s
-        last_heard_at = max(
-            self.last_holder_message_at.get(record.holder, changed_at), changed_at
-        )
-        return last_heard_at < oldest_allowed
+            return silent_s(reported_at, now) > self.settings.late_after_s
+        heard_at = self.last_holder_message_at.get(record.holder, changed_at)
+        heard_at = max(heard_at, changed_at)
+        return silent_s(heard_at, now) > self.settings.holder_silent_s
 
     def _is_significant(self, report: Report, existing: ServerRecord) -> bool:
         previous_report = existing.report
