Let a follower judge zones by the silence that it listened through

Cause: silent_zones and lost_vms counted from the latest answer read. Change: Follower owns a Listening, which its caller tells of each look. A zone is silent, and its control VMs are lost, after the same times as before, but of silence that this VM listened through. Who notes no looks (control VMs, which ask neither) sees no change. Tests: two fail if the silence of this VM counts; a third holds that a zone that falls silent is named as soon as before.

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -8,6 +8,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId, ZoneName
 from kumquatmux_registry.feed import FeedAnswer, FeedPoll
+from kumquatmux_registry.listening import PAUSED_AFTER_S, Listening
 from kumquatmux_registry.publisher import Document
 
 
@@ -34,6 +35,8 @@
             document that could not be read.
         min_document_poll_interval_s: Minimum seconds between extra polls of one control
             VM for a document whose number it announced without the content.
+        paused_after_s: Seconds between two looks after which this VM is taken to have
+            stood still.
     """
 
     vm: VmId
@@ -48,6 +51,7 @@
     max_sources: int = 256
     unread_document_retry_s: float = 5.0
     min_document_poll_interval_s: float = 0.3
+    paused_after_s: float = PAUSED_AFTER_S
 
 
 class SourceState:
@@ -91,6 +95,8 @@
         document: Newest settings document received.
         peers: Entry VMs in this VM's zone, including this one.
         sources: State of each known control VM, by name.
+        listening: Silence that this VM may judge control VMs by. The caller notes its
+            looks there; without, this VM is taken to listen all the time.
         is_stopping: Whether this VM is shutting down.
     """
 
@@ -100,6 +106,7 @@
         self.document = Document()
         self.peers: tuple[VmId, ...] = ()
         self.sources: dict[VmId, SourceState] = {}
+        self.listening = Listening(settings.paused_after_s)
         self.set_seeds(settings.seeds)
 
     def set_seeds(self, seeds: tuple[VmId, ...]) -> None:
@@ -146,28 +153,23 @@
         )
 
     def silent_zones(self, now: float) -> frozenset[ZoneName]:
-        """Return the zones in which no followed control VM has answered recently."""
-        oldest_allowed = now - self.settings.silent_s
-        latest: dict[ZoneName, float] = {}
-        for vm in self._sources_to_poll(now):
-            source = self.sources[vm]
-            heard = latest.get(source.zone, -math.inf)
-            latest[source.zone] = max(heard, source.heard_at)
+        """Return the zones in which no followed control VM has answered recently.
+
+        Only silence counts that this VM listened through.
+        """
+        heard_zones = self._heard_zones(self.settings.silent_s, now)
+        followed_zones = {self.sources[vm].zone for vm in self._sources_to_poll(now)}
         return frozenset(
-            zone for zone, heard in latest.items() if zone and heard < oldest_allowed
+            zone for zone in followed_zones if zone and zone not in heard_zones
         )
 
     def lost_vms(self, now: float) -> frozenset[VmId]:
         """Return the control VMs of zones in which none was heard of for ``lost_s``.
 
         All known ones of a zone are polled once those that are followed are silent.
+        Only silence counts that this VM listened through.
         """
-        oldest_allowed = now - self.settings.lost_s
-        heard_zones = {
-            source.zone
-            for source in self.sources.values()
-            if source.heard_at >= oldest_allowed
-        }
+        heard_zones = self._heard_zones(self.settings.lost_s, now)
         return frozenset(
             vm
             for vm, source in self.sources.items()
@@ -244,6 +246,14 @@
         source.unread_document = number
         source.unread_until = now + self.settings.unread_document_retry_s
 
+    def _heard_zones(self, within_s: float, now: float) -> set[ZoneName]:
+        """Return the zones of control VMs that have been silent for a time at most."""
+        return {
+            source.zone
+            for source in self.sources.values()
+            if self.listening.silent_s(source.heard_at, now) <= within_s
+        }
+
     def _state_of(self, vm: VmId) -> SourceState:
         """Return the state of a control VM, that of a new one if it is not known."""
         return self.sources.get(vm) or SourceState()
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -345,3 +345,60 @@
     mine.take(last, 1.1)
     assert [one.report.lifetime.name for one in last.records] == ["i-3"]
     assert mine.poll_after(last, 1.1) is None
+
+
+def note_looks(mine, start, end):
+    """Have a follower note that its VM looks four times a second."""
+    for step in range(round((end - start) * 4) + 1):
+        mine.listening.note(start + step / 4)
+
+
+def awake_follower(until=3.0):
+    """Return a follower and its sources, all heard of each half second to a time."""
+    mine, sources = heard_sources()
+    for half_s in range(round(until * 2) + 1):
+        for source in sources:
+            poll_publisher(mine, source, half_s / 2)
+    note_looks(mine, 0.0, until)
+    return mine, sources
+
+
+# Guards against a VM that stood still and takes all zones for silent when it wakes.
+def test_no_zone_is_silent_only_because_this_vm_stood_still():
+    mine, sources = awake_follower()
+    mine.listening.note(8.0)
+    assert mine.silent_zones(8.0) == frozenset()
+    poll_publisher(mine, sources[0], 8.25)
+    note_looks(mine, 8.25, 9.0)
+    assert mine.silent_zones(9.0) == frozenset()
+    note_looks(mine, 9.25, 9.25)
+    assert mine.silent_zones(9.25) == {"b"}
+
+
+# Guards against a VM that wakes, hears one control VM and takes all others for lost.
+def test_no_control_vm_is_lost_only_because_this_vm_stood_still():
+    mine, sources = awake_follower()
+    mine.listening.note(8.0)
+    poll_publisher(mine, sources[0], 8.0)
+    assert mine.lost_vms(8.0) == frozenset()
+    for quarter_s in range(13):
+        now = 8.0 + quarter_s / 4
+        mine.listening.note(now)
+        poll_publisher(mine, sources[0], now)
+        assert mine.lost_vms(now) == frozenset()
+    mine.listening.note(11.25)
+    assert mine.lost_vms(11.25) == {"c2", "c3"}
+
+
+# Guards against zones that never fall silent to a VM that notes its looks.
+def test_a_zone_that_falls_silent_is_named_while_this_vm_looks():
+    mine, sources = awake_follower()
+    for half_s in range(7, 13):
+        poll_publisher(mine, sources[0], half_s / 2)
+    note_looks(mine, 3.25, 4.0)
+    assert mine.silent_zones(4.0) == frozenset()
+    note_looks(mine, 4.25, 6.0)
+    assert mine.silent_zones(4.25) == {"b"}
+    assert mine.lost_vms(6.0) == frozenset()
+    note_looks(mine, 6.25, 6.25)
+    assert mine.lost_vms(6.25) == {"c2", "c3"}
