Call no control VM lost on a VM that hears none

Cause: lost_vms judged each zone for itself. A VM that hears nobody cannot tell the loss of all others from its own. Change: none is lost while no control VM has answered within silent_s. Tests: one fails without the change; it also holds that the VM of a zone that stays silent is lost as long as another is heard.

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -167,8 +167,11 @@
         """Return the control VMs of zones in which none was heard of for ``lost_s``.
 
         All known ones of a zone are polled once those that are followed are silent.
-        Only silence counts that this VM listened through.
+        Only silence counts that this VM listened through. None is lost to a VM that
+        hears none at present: it cannot tell their loss from its own.
         """
+        if not self._hears_any(now):
+            return frozenset()
         heard_zones = self._heard_zones(self.settings.lost_s, now)
         return frozenset(
             vm
@@ -246,6 +249,11 @@
         source.unread_document = number
         source.unread_until = now + self.settings.unread_document_retry_s
 
+    def _hears_any(self, now: float) -> bool:
+        """Return whether any control VM has answered recently."""
+        oldest_allowed = now - self.settings.silent_s
+        return any(one.heard_at > oldest_allowed for one in self.sources.values())
+
     def _heard_zones(self, within_s: float, now: float) -> set[ZoneName]:
         """Return the zones of control VMs that have been silent for a time at most."""
         return {
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -402,3 +402,16 @@
     assert mine.lost_vms(6.0) == frozenset()
     note_looks(mine, 6.25, 6.25)
     assert mine.lost_vms(6.25) == {"c2", "c3"}
+
+
+# Guards against a VM that is cut off itself and takes all control VMs for lost.
+def test_a_vm_that_hears_no_control_vm_calls_none_lost():
+    mine, sources = awake_follower()
+    note_looks(mine, 3.25, 9.0)
+    assert mine.silent_zones(9.0) == {"a", "b"}
+    assert mine.lost_vms(9.0) == frozenset()
+    poll_publisher(mine, sources[0], 9.0)
+    assert mine.lost_vms(9.0) == {"c2", "c3"}
+    note_looks(mine, 9.25, 10.25)
+    assert mine.lost_vms(10.0) == {"c2", "c3"}
+    assert mine.lost_vms(10.25) == frozenset()
