Drop openings that waited out a pause longer than their callers wait

What callers saw: an entry VM that had been frozen placed opening packets that had waited 3.2 s and more in its socket's queue. Their callers had given up, or had opened the flow with a copy through another VM; such a caller gets a second SYN+ACK, whose token its later packets may carry. Cause: the age of a packet was taken to be 0 when it was read. Ruled out: a fixed time after waking, in which fresh openings are lost though the queue has long been read, and which is too short if there is more to read. The queue hands packets over in the order of their arrival, so all that came during the pause are read once it is empty, and the port knows when it is. A limit of 1.4 s holds for a VM that can't keep up: without it, such a VM would never place an opening again. Change: `TokenRouter.note_pause` takes the length of a pause; until the packet port has read its queue empty, opening packets are dropped as `opening-outdated`. Packets of open flows go on. The daemon tells when the queue is empty; nothing notes pauses yet.

--- a/libs/daemons/src/kumquatmux_daemons/entry/port.py
+++ b/libs/daemons/src/kumquatmux_daemons/entry/port.py
@@ -19,10 +19,16 @@
 
 
 class PacketPort:
-    """Datagrams in batches: many a turn of the loop, and never a wait to send."""
+    """Datagrams in batches: many a turn of the loop, and never a wait to send.
+
+    Attributes:
+        counts: Datagrams that were lost here, by reason.
+        is_queue_empty: Whether the latest batch took all datagrams that waited.
+    """
 
     def __init__(self, bind: Endpoint) -> None:
         self.counts: Counter[str] = Counter()
+        self.is_queue_empty = True
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
@@ -57,10 +63,12 @@
     def read_batch(self, handler: Handler, now: float) -> None:
         """Hand over the datagrams that wait, up to one batch."""
         receive = self.socket.recvfrom
+        self.is_queue_empty = False
         for _ in range(BATCH_DATAGRAMS):
             try:
                 data, source = receive(DATAGRAM_BYTES)
             except BlockingIOError:
+                self.is_queue_empty = True
                 return
             except OSError:
                 # An ICMP error about a datagram sent earlier; it is read once.
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -107,12 +107,17 @@
     def end_batch(now: float) -> None:
         timer.move_forward(core.due_at(now))
 
+    def end_packets(now: float) -> None:
+        if ports.packets.is_queue_empty:
+            core.router.backlog.note_queue_empty()
+        end_batch(now)
+
     def tick(now: float) -> float:
         lines.tick(now)
         ports.carry_out(core.tick(now))
         return core.due_at(now)
 
-    nursery.start_soon(ports.packets.serve, take_packet, end_batch)
+    nursery.start_soon(ports.packets.serve, take_packet, end_packets)
     nursery.start_soon(ports.peers.serve, take_message, end_batch)
     nursery.start_soon(timer.run, tick)
     nursery.start_soon(serve_http, settings.readiness, readiness_handler(core))
--- a/libs/daemons/tests/test_packet_port.py
+++ b/libs/daemons/tests/test_packet_port.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from kumquatmux_core.identity import Endpoint
-from kumquatmux_daemons.entry.port import PacketPort
+from kumquatmux_daemons.entry.port import BATCH_DATAGRAMS, PacketPort
 
 
 @pytest.fixture
@@ -61,3 +61,16 @@
         assert port.counts["packets.unsent"] == 1
     finally:
         port.close()
+
+
+# Guards against packets that wait on while their queue is taken for empty, or the other
+# way round: openings read behind them are taken for outdated, or for new.
+def test_the_queue_is_empty_only_once_all_datagrams_are_read(port):
+    taken = []
+    target = port.socket.getsockname()
+    for _ in range(BATCH_DATAGRAMS + 1):
+        port.send(b"x", target)
+    port.read_batch(lambda *given: taken.append(given), 1.0)
+    assert (len(taken), port.is_queue_empty) == (BATCH_DATAGRAMS, False)
+    port.read_batch(lambda *given: taken.append(given), 1.0)
+    assert (len(taken), port.is_queue_empty) == (BATCH_DATAGRAMS + 1, True)
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -425,3 +425,17 @@
         sent = core.packet(b"data 7 %d" % record.token, now)
         resets += [one for one in datagrams(sent) if one.startswith(b"reset")]
     assert resets == []
+
+
+# Guards against openings that waited seconds in the queue of a VM that stood still:
+# they are placed although their callers gave up, and copies went elsewhere.
+def test_openings_read_after_a_pause_are_placed_once_the_queue_was_empty(core):
+    core.message("c1", answer(server(1), document=3, content=b"3"), 0.1)
+    core.packet(b"open 6", 0.2)
+    core.router.note_pause(5.0, 4.8)
+    assert datagrams(core.packet(b"open 7", 5.0)) == []
+    assert core.counts["drops.opening-outdated"] == 1
+    assert len(datagrams(core.packet(b"data 6 %d" % server(1).token, 5.0))) == 1
+    core.router.backlog.note_queue_empty()
+    assert len(datagrams(core.packet(b"open 8", 5.1))) == 1
+    assert datagrams(core.tick(5.2)) == []
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -8,6 +8,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
+from kumquatmux_tokens.backlog import Backlog
 from kumquatmux_tokens.choice import NewFlow, Selection, select_server
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTracker
@@ -45,6 +46,7 @@
         pools: Servers of each service that accept new flows.
         token_buffer: Packets that are buffered while their token is looked up.
         syn_buffer: SYN packets that are buffered until a server can take their flow.
+        backlog: Packets that waited in the socket's queue while this VM was paused.
         coordinators: Selects the placement coordinator of each service.
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
@@ -68,6 +70,7 @@
         self.pools = ServerPools(self.directory, self.load_tracker)
         self.token_buffer = TokenLookupBuffer(settings)
         self.syn_buffer = SynBuffer(settings)
+        self.backlog = Backlog(settings)
         self.coordinators = CoordinatorSelector(settings)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
@@ -78,9 +81,15 @@
 
     def route_packet(self, header: PacketHeader, now: float) -> Decision:
         """Return the decision for a packet."""
-        if header.is_syn:
-            return self._route_syn(header, now)
-        return self._route_by_token(header, now)
+        if not header.is_syn:
+            return self._route_by_token(header, now)
+        if self.backlog.is_unread(now):
+            return Drop("opening-outdated")
+        return self._route_syn(header, now)
+
+    def note_pause(self, now: float, gap_s: float) -> None:
+        """Note a pause of this VM that has just ended, before packets are routed."""
+        self.backlog.note_pause(now, gap_s)
 
     def install_routes(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -588,3 +588,29 @@
     assert tracker.flows == {}
     router.route_packet(make_syn(200), NOW_S + 101.0)
     assert len(tracker.flows) == 1
+
+
+# Guards against openings that are placed though their callers gave up, or went on with
+# the server of another copy, while this VM stood still.
+@pytest.mark.parametrize(
+    ("gap_s", "is_dropped"), [(3.2, True), (1.5, True), (1.3, False)]
+)
+@pytest.mark.parametrize("copy", [0, 1, 2])
+def test_openings_that_waited_out_a_long_pause_are_not_placed(gap_s, is_dropped, copy):
+    router = make_router(make_server_record("i-1"))
+    router.note_pause(NOW_S, gap_s)
+    decision = router.route_packet(make_syn(retransmission_count=copy), NOW_S)
+    assert (decision == Drop("opening-outdated")) is is_dropped
+    assert bool(router.load_tracker.flows) is not is_dropped
+    router.backlog.note_queue_empty()
+    later = router.route_packet(make_syn(2), NOW_S + 0.01)
+    assert isinstance(later, Forward)
+
+
+# Guards against open flows that lose packets because their VM stood still.
+def test_packets_of_open_flows_that_waited_out_a_pause_are_forwarded():
+    record = make_server_record("i-1")
+    router = make_router(record)
+    router.note_pause(NOW_S, 3.2)
+    sent = router.route_packet(make_data_packet(record.token), NOW_S)
+    assert sent == Forward(record, record.token)
