Place no opening on a late answer once its caller has given up

What callers saw: nothing more, they had given up; a server got an opening packet, and held a place, for a caller that was gone. Cause: the answer to a placement request released the opening packet that was held without a look at its deadline, which only the next attempt to place it would have met. After a pause of this VM both the answer and the deadline are old. Evidence: the test with an answer after 1.5 s fails without the change. Ruled out: answers to requests that were given up; they find no packet, or place it once. Change: an answer finds only opening packets whose callers still wait. Result: the tests of libs/tokens and libs/daemons pass.

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -121,11 +121,11 @@
         """Process the answer to a placement request.
 
         Returns:
-            The buffered SYN packet to forward now, None if there is none or every
-            server is full.
+            The buffered SYN packet to forward now, None if there is none whose caller
+            still waits or every server is full.
         """
         self.coordinators.record_answer(answer.sender, answer.flow_key)
-        packet = self.syn_buffer.by_flow.get(answer.flow_key)
+        packet = self.syn_buffer.unexpired_packet(answer.flow_key, now)
         if packet is None:
             return None
         route = self.route_table.routes.get(packet.header.route_address)
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -101,6 +101,11 @@
         self.by_flow[header.flow_key] = BufferedPacket(header, data, expires_at)
         return True
 
+    def unexpired_packet(self, flow_key: bytes, now: float) -> BufferedPacket | None:
+        """Return the SYN packet of a flow if its caller still waits."""
+        packet = self.by_flow.get(flow_key)
+        return packet if packet is not None and packet.expires_at > now else None
+
     def unexpired_packets(self, now: float) -> list[BufferedPacket]:
         """Drop packets whose callers no longer wait; return the other packets."""
         for flow_key, packet in list(self.by_flow.items()):
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -614,3 +614,19 @@
     router.note_pause(NOW_S, 3.2)
     sent = router.route_packet(make_data_packet(record.token), NOW_S)
     assert sent == Forward(record, record.token)
+
+
+# Guards against an opening that is placed though its caller gave up: the answer came
+# late, or was read late after a pause of this VM.
+@pytest.mark.parametrize(("answered_s", "is_placed"), [(1.3, True), (1.5, False)])
+def test_a_late_placement_answer_places_no_opening_whose_caller_gave_up(
+    answered_s, is_placed
+):
+    record = make_server_record("i-1")
+    router, coordinator = make_router_with_other_coordinator(record)
+    header = make_syn()
+    router.route_packet(header, NOW_S)
+    router.syn_buffer.add(header, b"one", NOW_S)
+    answer = PlaceAnswer(coordinator, header.flow_key, record.token, False, 1)
+    packet = router.process_placement_answer(answer, NOW_S + answered_s)
+    assert (packet is not None) is is_placed
