Let an opening packet wait no longer once a copy of it is placed

What callers saw: SYN+ACKs of two servers within a few milliseconds, and a token of the second one that their later packets may carry. Cause: when a copy arrived and was placed here, as the placer's answer was overdue, the earlier packet stayed held; an answer that came before the next attempt (20 ms) sent it to the server of its choice, though another one was just taken. Evidence: the new test sees the second server get the opening packet without the change. Ruled out: two answers of placers, the second of which finds nothing that waits. Change: a decision other than to wait, or to ask, ends the wait of the flow's packet.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -196,6 +196,8 @@
 
     def _route(self, head: PacketHeader, data: bytes, now: float) -> list[Effect]:
         decision = self.router.route_packet(head, now)
+        if head.is_syn and not isinstance(decision, HoldForServer | RequestPlacement):
+            self.router.syn_buffer.remove(head.flow_key)
         return self.apply_decision(decision, head, data, now)
 
     @singledispatchmethod
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -14,6 +14,7 @@
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.placers import PlaceAnswer
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 
 ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
@@ -439,3 +440,22 @@
     core.router.backlog.note_queue_empty()
     assert len(datagrams(core.packet(b"open 8", 5.1))) == 1
     assert datagrams(core.tick(5.2)) == []
+
+
+# Guards against a flow that two servers answer: a copy of its opening packet is placed
+# here when the placer's answer is overdue, and the answer comes then.
+def test_an_opening_that_is_placed_no_longer_waits_for_an_answer(core):
+    names = ("e1", "e2", "e3", "e4")
+    told = answer(server(1), server(2), document=3, content=b"3", entries=names)
+    core.message("c1", told, 0.1)
+    coordinators = core.router.coordinators
+    coordinators.rankings["entries"] = ["e2", "e1"]
+    assert datagrams(core.packet(b"open 7", 0.5)) == []
+    (placed,) = datagrams(core.packet(b"open 7", 0.7))
+    flow = (7).to_bytes(6) + ROUTE
+    for number in (1, 2):
+        late = PlaceAnswer("e2", flow, server(number).token, False, 1)
+        assert datagrams(core.message("e2", late, 0.701)) == []
+    assert core.router.load_tracker.flows[flow].tried_tokens == (
+        int(placed.split()[2]),
+    )
