Send late copies of an open flow's opening packet to no other server

What callers saw: a SYN+ACK of a second server on a flow that was open, whose token their next packets may carry, which that server resets; or a refusal (`no-server`). Cause: a SYN of an established flow was taken for that of a new flow on the same port. The flow's record was replaced, with the second server as its own. So was an opening packet that waited here while a copy of it opened the flow through another VM. A new flow on the port of one that had not opened was, on the other hand, taken for a copy of it and sent to its server, also a draining one. Ruled out: to forward the copy to the flow's server; its caller has acknowledged the SYN+ACK that a copy would ask for. A limit of time, as old and new flows on a port differ in their sequence numbers, which callers choose at random; copies share one. Change: a SYN belongs to the flow known under its key if its sequence number comes just before that of the flow's first packet. Copies of an open flow's are dropped as `flow-open`, others are placed as new. A packet of the flow ends the wait of its SYN.

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -23,6 +23,12 @@
 SEQUENCE_SPACE = 1 << 32
 HALF_SEQUENCE_SPACE = 1 << 31
 
+OPENING_REACH_BYTES = 1 << 16
+"""Bytes after a SYN's sequence number up to which packets are taken for its flow's.
+
+Callers choose the first sequence number of each flow at random.
+"""
+
 
 class Flow:
     """State of one flow, derived from the caller's packets.
@@ -42,12 +48,15 @@
         baseline_ack_number: Acknowledgment number when the latest new data or answer
             was seen; a later one shows that the server has answered.
         has_sent_request: Whether the caller has sent a request on the flow.
+        first_sequence_number: Sequence number after the SYN, or of the first packet
+            that passed this VM.
         next_sequence_number: Sequence number after the last byte of the caller's data.
     """
 
     __slots__ = (
         "baseline_ack_number",
         "counted_copy",
+        "first_sequence_number",
         "last_data_at",
         "request_sent_at",
         "next_sequence_number",
@@ -60,8 +69,9 @@
         "tried_tokens",
     )
 
-    def __init__(self, token: int, now: float) -> None:
+    def __init__(self, token: int, first_sequence_number: int, now: float) -> None:
         self.token = token
+        self.first_sequence_number = first_sequence_number
         self.tried_tokens: tuple[int, ...] = ()
         self.is_established = False
         self.syn_forwarded_at = now
@@ -155,14 +165,25 @@
             > self.settings.follow_up_share_threshold
         )
 
+    def flow_of_syn(self, header: PacketHeader) -> Flow | None:
+        """Return the flow that a SYN packet opens, None if it is not known.
+
+        A flow that the caller had before on the same port is another one.
+        """
+        flow = self.flows.get(header.flow_key)
+        if flow is None or not follows_syn(flow.first_sequence_number, header):
+            return None
+        return flow
+
     def record_syn(self, header: PacketHeader, token: int, now: float) -> None:
         """Record that a flow's SYN packet goes to a server."""
-        flow = self.flows.get(header.flow_key)
+        flow = self.flow_of_syn(header)
         if flow is None or flow.is_established:
             self._remove(header.flow_key)
             if not self._has_room():
                 return
-            flow = self.flows[header.flow_key] = Flow(token, now)
+            first_sequence_number = (header.sequence_number + 1) % SEQUENCE_SPACE
+            flow = self.flows[header.flow_key] = Flow(token, first_sequence_number, now)
             self._count_open_flow(token, 1)
         elif flow.token != token:
             self._end_request(flow)
@@ -206,7 +227,9 @@
         if flow is None:
             if not self._has_room():
                 return
-            flow = self.flows[header.flow_key] = Flow(token, now)
+            flow = self.flows[header.flow_key] = Flow(
+                token, header.sequence_number, now
+            )
             flow.next_sequence_number = header.sequence_number
             flow.has_sent_request = True
             self._count_open_flow(token, 1)
@@ -380,6 +403,12 @@
             self._count_open_flow(flow.token, -1)
 
 
+def follows_syn(sequence_number: int, syn: PacketHeader) -> bool:
+    """Return whether a packet's sequence number is one of the flow that a SYN opens."""
+    offset = (sequence_number - syn.sequence_number) % SEQUENCE_SPACE
+    return 0 < offset <= OPENING_REACH_BYTES
+
+
 def _is_sequence_after(number: int, reference: int) -> bool:
     """Return whether a sequence number comes after another, allowing for wraparound."""
     return 0 < (number - reference) % SEQUENCE_SPACE < HALF_SEQUENCE_SPACE
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -210,28 +210,22 @@
         if route is None:
             return self._decide_without_route(header)
         service = route.select_service(header.flow_key)
-        flow = self.load_tracker.flows.get(header.flow_key)
-        is_retransmission = flow is not None and not flow.is_established
+        flow = self.load_tracker.flow_of_syn(header)
+        if flow is not None and flow.is_established:
+            return Drop("flow-open")
         is_too_soon = (
             flow is not None
             and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
         )
-        if (
-            flow is not None
-            and is_retransmission
-            and header.retransmission_count
-            and not is_too_soon
-        ):
+        if flow is not None and header.retransmission_count and not is_too_soon:
             copy = header.retransmission_count
             if self.load_tracker.record_unanswered_syn(flow, copy, now):
                 self._log_unanswered_syn(header, flow.token)
-        elif flow is not None and is_retransmission:
+        elif flow is not None:
             entry = self.directory.by_token.get(flow.token)
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, flow.token)
-        tried_tokens = (
-            flow.tried_tokens if flow is not None and is_retransmission else ()
-        )
+        tried_tokens = flow.tried_tokens if flow is not None else ()
         if header.flow_key in self.coordinators.pending_requests:
             if self.coordinators.is_pending(header.flow_key, now):
                 return HoldForServer("asked")
@@ -256,10 +250,8 @@
     def _place_locally(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
-        flow = self.load_tracker.flows.get(header.flow_key)
-        tried_tokens = (
-            flow.tried_tokens if flow is not None and not flow.is_established else ()
-        )
+        flow = self.load_tracker.flow_of_syn(header)
+        tried_tokens = flow.tried_tokens if flow is not None else ()
         new_flow = NewFlow(
             tried_tokens,
             self.load_tracker.expects_many_requests(header.route_address),
@@ -331,6 +323,7 @@
         return by_receiver
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
+        self.syn_buffer.remove_opened(header)
         flow = self.load_tracker.flows.get(header.flow_key)
         token = header.token
         if flow is not None and flow.is_established and token in flow.tried_tokens:
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_tokens.load import follows_syn
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.settings import TokenRouterSettings
 
@@ -114,6 +115,12 @@
                 del self.by_flow[flow_key]
         return list(self.by_flow.values())
 
+    def remove_opened(self, header: PacketHeader) -> None:
+        """Remove the SYN packet of the flow of a packet that is no SYN."""
+        packet = self.by_flow.get(header.flow_key)
+        if packet and follows_syn(header.sequence_number, packet.header):
+            self.remove(header.flow_key)
+
     def remove(self, flow_key: bytes) -> None:
         """Remove the SYN packet of a flow."""
         self.by_flow.pop(flow_key, None)
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -630,3 +630,73 @@
     answer = PlaceAnswer(coordinator, header.flow_key, record.token, False, 1)
     packet = router.process_placement_answer(answer, NOW_S + answered_s)
     assert (packet is not None) is is_placed
+
+
+# Guards against a second server that answers a flow that is open: its token would lead
+# the caller's later packets there, and that server would reset the flow.
+@pytest.mark.parametrize("copy", [0, 1, 2])
+@pytest.mark.parametrize("has_seen_syn", [True, False])
+def test_a_late_copy_of_an_open_flows_syn_goes_to_no_server(copy, has_seen_syn):
+    first, second = make_server_record("i-1"), make_server_record("i-2")
+    router = make_router(first, second)
+    if has_seen_syn:
+        first = router.route_packet(make_syn(), NOW_S).server
+    router.route_packet(make_data_packet(first.token), NOW_S + 0.1)
+    late = make_syn(retransmission_count=copy)
+    assert router.route_packet(late, NOW_S + 0.6) == Drop("flow-open")
+    flow = router.load_tracker.flows[late.flow_key]
+    assert (flow.token, flow.is_established) == (first.token, True)
+
+
+# Guards against the refusal of a flow that is open, as its service has no server for
+# new flows now.
+def test_a_late_copy_of_an_open_flows_syn_is_not_refused():
+    router = make_router(make_server_record("i-1"))
+    router.route_packet(make_syn(), NOW_S)
+    router.route_packet(make_data_packet(make_server_record("i-1").token), NOW_S + 0.1)
+    draining = make_server_record("i-1", number=2, phase=Phase.DRAINING)
+    router.store_record(draining, NOW_S + 0.2)
+    router.last_served_at.clear()
+    late = make_syn(retransmission_count=1)
+    assert router.route_packet(late, NOW_S + 0.3) == Drop("flow-open")
+
+
+# Guards against a new flow that is lost, or led to the server of an old one, as its
+# caller uses the port of the old one again.
+@pytest.mark.parametrize("was_open", [True, False])
+@pytest.mark.parametrize("copy", [0, 1])
+def test_a_new_flow_on_the_port_of_an_old_one_is_placed_anew(was_open, copy):
+    old = make_server_record("i-1")
+    router = make_router(old)
+    router.route_packet(make_syn(), NOW_S)
+    if was_open:
+        router.route_packet(make_data_packet(old.token), NOW_S + 0.1)
+    router.store_record(
+        make_server_record("i-1", number=2, phase=Phase.DRAINING), NOW_S + 0.2
+    )
+    ready = make_server_record("i-2")
+    router.store_record(ready, NOW_S + 0.2)
+    anew = make_syn(retransmission_count=copy)._replace(sequence_number=90_000)
+    sent = router.route_packet(anew, NOW_S + 2.0)
+    assert sent == Forward(ready, ready.token)
+    flow = router.load_tracker.flows[anew.flow_key]
+    assert flow.tried_tokens == (ready.token,)
+    assert router.load_tracker.local_loads[old.token].open_flows == 0
+    assert router.load_tracker.local_loads[old.token].unanswered_syns == 0
+
+
+# Guards against an opening that waits here and is placed, though a copy of it opened
+# the flow through another VM, whose packets come here now.
+@pytest.mark.parametrize(
+    ("sequence", "waits_on"), [(101, False), (9_000, False), (900_000, True)]
+)
+def test_an_opening_waits_no_longer_once_its_flow_is_open(sequence, waits_on):
+    record = make_server_record("i-1")
+    router = make_router(record)
+    router.load_tracker.local_load_at(record.token).active_requests = 8
+    header = make_syn()
+    assert router.route_packet(header, NOW_S) == HoldForServer("no-slot")
+    router.syn_buffer.add(header, b"one", NOW_S)
+    opened = make_data_packet(record.token, sequence=sequence, length=0)
+    router.route_packet(opened, NOW_S + 0.1)
+    assert bool(router.syn_buffer.by_flow) is waits_on
