--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -216,7 +216,7 @@
         listening = self.follower.listening
         listening.note(now)
         if listening.since > self.router.listening_since:
-            self.router.listening_since = listening.since
+            self.router.note_pause(listening.since, listening.latest_gap_s)
             log_decision("vm-resumed", paused_s=round(listening.latest_gap_s, 2))
 
     def _contained(
@@ -232,6 +232,8 @@
 
     def _route(self, head: PacketHeader, data: bytes, now: float) -> list[Effect]:
         decision = self.router.route_packet(head, now)
+        if head.is_syn and not isinstance(decision, HoldForServer | RequestPlacement):
+            self.router.syn_buffer.remove(head.flow_key)
         return self.apply_decision(decision, head, data, now)
 
     @singledispatchmethod
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -8,6 +8,7 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_registry.records import ServerRecord
+from kumquatmux_tokens.backlog import Backlog
 from kumquatmux_tokens.choice import NewFlow, Selection, select_server
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTracker
@@ -47,6 +48,7 @@
         pools: Servers of each service that accept new flows.
         token_buffer: Packets that are buffered while their token is looked up.
         syn_buffer: SYN packets that are buffered until a server can take their flow.
+        backlog: Packets that waited in the socket's queue while this VM was paused.
         coordinators: Selects the placement coordinator of each service.
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
@@ -73,6 +75,7 @@
         self.pools = ServerPools(self.directory, self.load_tracker)
         self.token_buffer = TokenLookupBuffer(settings)
         self.syn_buffer = SynBuffer(settings)
+        self.backlog = Backlog(settings)
         self.coordinators = CoordinatorSelector(settings)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
@@ -85,9 +88,16 @@
 
     def route_packet(self, header: PacketHeader, now: float) -> Decision:
         """Return the decision for a packet."""
-        if header.is_syn:
-            return self._route_syn(header, now)
-        return self._route_by_token(header, now)
+        if not header.is_syn:
+            return self._route_by_token(header, now)
+        if self.backlog.is_unread(now):
+            return Drop("opening-outdated")
+        return self._route_syn(header, now)
+
+    def note_pause(self, now: float, gap_s: float) -> None:
+        """Note a pause of this VM that has just ended, before packets are routed."""
+        self.listening_since = now
+        self.backlog.note_pause(now, gap_s)
 
     def install_routes(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
@@ -119,11 +129,11 @@
         """Process the answer to a placement request.
 
         Returns:
-            The buffered SYN packet to forward now, None if there is none or every
-            server is full.
+            The buffered SYN packet to forward now, None if there is none whose caller
+            still waits or every server is full.
         """
         self.coordinators.record_answer(answer.sender, answer.flow_key)
-        packet = self.syn_buffer.by_flow.get(answer.flow_key)
+        packet = self.syn_buffer.unexpired_packet(answer.flow_key, now)
         if packet is None:
             return None
         route = self.route_table.routes.get(packet.header.route_address)
@@ -224,28 +234,22 @@
         if route is None:
             return self._decide_without_route(header)
         service = route.select_service(header.flow_key)
-        flow = self.load_tracker.flows.get(header.flow_key)
-        is_retransmission = flow is not None and not flow.is_established
+        flow = self.load_tracker.flow_of_syn(header)
+        if flow is not None and flow.is_established:
+            return Drop("flow-open")
         is_too_soon = (
             flow is not None
             and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
         )
-        if (
-            flow is not None
-            and is_retransmission
-            and header.retransmission_count
-            and not is_too_soon
-        ):
+        if flow is not None and header.retransmission_count and not is_too_soon:
             copy = header.retransmission_count
             if self.load_tracker.record_unanswered_syn(flow, copy, now):
                 self._log_unanswered_syn(header, flow.token)
-        elif flow is not None and is_retransmission:
+        elif flow is not None:
             entry = self.directory.by_token.get(flow.token)
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, flow.token)
-        tried_tokens = (
-            flow.tried_tokens if flow is not None and is_retransmission else ()
-        )
+        tried_tokens = flow.tried_tokens if flow is not None else ()
         if header.flow_key in self.coordinators.pending_requests:
             if self.coordinators.is_pending(header.flow_key, now):
                 return HoldForServer("asked")
@@ -270,10 +274,8 @@
     def _place_locally(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
-        flow = self.load_tracker.flows.get(header.flow_key)
-        tried_tokens = (
-            flow.tried_tokens if flow is not None and not flow.is_established else ()
-        )
+        flow = self.load_tracker.flow_of_syn(header)
+        tried_tokens = flow.tried_tokens if flow is not None else ()
         new_flow = NewFlow(
             tried_tokens,
             self.load_tracker.expects_many_requests(header.route_address),
@@ -345,6 +347,7 @@
         return by_receiver
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
+        self.syn_buffer.remove_opened(header)
         flow = self.load_tracker.flows.get(header.flow_key)
         token = header.token
         if flow is not None and flow.is_established and token in flow.tried_tokens:
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_tokens.load import follows_syn
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.settings import TokenRouterSettings
 
@@ -101,6 +102,11 @@
         self.by_flow[header.flow_key] = BufferedPacket(header, data, expires_at)
         return True
 
+    def unexpired_packet(self, flow_key: bytes, now: float) -> BufferedPacket | None:
+        """Return the SYN packet of a flow if its caller still waits."""
+        packet = self.by_flow.get(flow_key)
+        return packet if packet is not None and packet.expires_at > now else None
+
     def unexpired_packets(self, now: float) -> list[BufferedPacket]:
         """Drop packets whose callers no longer wait; return the other packets."""
         for flow_key, packet in list(self.by_flow.items()):
@@ -109,6 +115,12 @@
                 del self.by_flow[flow_key]
         return list(self.by_flow.values())
 
+    def remove_opened(self, header: PacketHeader) -> None:
+        """Remove the SYN packet of the flow of a packet that is no SYN."""
+        packet = self.by_flow.get(header.flow_key)
+        if packet and follows_syn(header.sequence_number, packet.header):
+            self.remove(header.flow_key)
+
     def remove(self, flow_key: bytes) -> None:
         """Remove the SYN packet of a flow."""
         self.by_flow.pop(flow_key, None)
