Count no silence against control VMs in which this VM heard none

Seen: in a trial, a VM that was cut off from all control VMs and hears the first of them again took all those of other zones for lost, until it had read their answers too. Cause: the time in which it heard nobody counted as their silence. Change: control VMs are lost only to a VM that has been in touch with others for lost_s. Tests: one fails without the change. An older one polled a control VM each 2 s, which is a break of touch now; it polls each half second, as entry VMs do, and asserts the same.

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -97,6 +97,8 @@
         sources: State of each known control VM, by name.
         listening: Silence that this VM may judge control VMs by. The caller notes its
             looks there; without, this VM is taken to listen all the time.
+        in_touch_since: Time since which control VMs have been heard without a break of
+            ``silent_s``, in seconds of the monotonic clock.
         is_stopping: Whether this VM is shutting down.
     """
 
@@ -107,6 +109,7 @@
         self.peers: tuple[VmId, ...] = ()
         self.sources: dict[VmId, SourceState] = {}
         self.listening = Listening(settings.paused_after_s)
+        self.in_touch_since = -math.inf
         self.set_seeds(settings.seeds)
 
     def set_seeds(self, seeds: tuple[VmId, ...]) -> None:
@@ -167,10 +170,11 @@
         """Return the control VMs of zones in which none was heard of for ``lost_s``.
 
         All known ones of a zone are polled once those that are followed are silent.
-        Only silence counts that this VM listened through. None is lost to a VM that
-        hears none at present: it cannot tell their loss from its own.
+        Only silence counts that this VM listened through, and in which it heard other
+        control VMs: a VM that hears none cannot tell their loss from its own.
         """
-        if not self._hears_any(now):
+        in_touch_s = now - self.in_touch_since
+        if in_touch_s <= self.settings.lost_s or not self._hears_any(now):
             return frozenset()
         heard_zones = self._heard_zones(self.settings.lost_s, now)
         return frozenset(
@@ -185,6 +189,8 @@
         source = self.sources.get(answer.sender)
         if source is None:
             return
+        if not self._hears_any(now):
+            self.in_touch_since = now
         if source.heard_at == -math.inf:
             log_decision("feed-regained", source=answer.sender)
         if source.incarnation != answer.incarnation:
