Forget no control VM on the silence of a VM that stood still

Cause: after a pause of over 20 s a follower dropped all control VMs but its seeds at its next poll, with what it knew of them, as it had read no answer for so long. Change: source_retention_s is of silence that this VM listened through. Tests: one fails without the change.

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -345,7 +345,8 @@
     def _remove_silent_sources(self, now: float) -> None:
         for vm, source in list(self.sources.items()):
             is_seed = vm in self.settings.seeds
-            is_expired = source.heard_at < now - self.settings.source_retention_s
+            silent_s = self.listening.silent_s(source.heard_at, now)
+            is_expired = silent_s > self.settings.source_retention_s
             if is_expired and not is_seed and source.heard_at != -math.inf:
                 log_decision("feed-lost", source=vm)
                 del self.sources[vm]
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -434,3 +434,18 @@
         note_looks(mine, half_s / 2, half_s / 2)
         assert mine.lost_vms(half_s / 2) == frozenset()
     assert mine.lost_vms(12.25) == {"c2", "c3"}
+
+
+# Guards against control VMs that are forgotten as this VM stood still for long.
+def test_a_pause_of_this_vm_removes_no_source():
+    mine, sources = awake_follower()
+    mine.settings = mine.settings._replace(seeds=("c1",))
+    mine.listening.note(60.0)
+    mine.polls(60.0)
+    assert set(mine.sources) == {"c1", "c2", "c3"}
+    note_looks(mine, 60.25, 80.0)
+    mine.polls(80.0)
+    assert set(mine.sources) == {"c1", "c2", "c3"}
+    note_looks(mine, 80.25, 80.25)
+    mine.polls(80.25)
+    assert set(mine.sources) == {"c1"}
