Keep open flows where this VM saw them open, whatever token comes

What callers saw: a reset of an open flow by a server that it never opened at. Cause: copies of an opening packet went through two VMs to two servers. The late SYN+ACK of the second gives the caller its token. The VM that had forwarded the first copy, and had seen the caller go on from it, sent packets with that token to the second server, as it had corrected only tokens of servers that it tried itself. An unknown token made packets wait for a look-up. Where it did correct them, it did so for a new flow on the same port, too. Ruled out: to correct flows that are known by packets with a token only; that token may be the wrong one. Change: a packet that carries on a flow whose SYN this VM forwarded, by its sequence number, goes to the server that the flow opened at, unless that server is over.

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -29,6 +29,12 @@
 Callers choose the first sequence number of each flow at random.
 """
 
+FLOW_REACH_BYTES = 1 << 18
+"""Bytes from where a flow stands within which packets are taken for its own.
+
+More than its ends have in flight, and than pass other VMs before one comes here again.
+"""
+
 
 class Flow:
     """State of one flow, derived from the caller's packets.
@@ -175,6 +181,17 @@
             return None
         return flow
 
+    def flow_of_packet(self, header: PacketHeader) -> Flow | None:
+        """Return the open flow of a packet that is no SYN, None if it is not known.
+
+        A flow that the caller had before on the same port is another one.
+        """
+        flow = self.flows.get(header.flow_key)
+        if flow is None or not flow.is_established:
+            return None
+        offset = header.sequence_number - flow.next_sequence_number + FLOW_REACH_BYTES
+        return flow if offset % SEQUENCE_SPACE <= 2 * FLOW_REACH_BYTES else None
+
     def record_syn(self, header: PacketHeader, token: int, now: float) -> None:
         """Record that a flow's SYN packet goes to a server."""
         flow = self.flow_of_syn(header)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -324,10 +324,7 @@
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
-        flow = self.load_tracker.flows.get(header.flow_key)
-        token = header.token
-        if flow is not None and flow.is_established and token in flow.tried_tokens:
-            token = flow.token
+        token = self._server_token(header, now)
         entry = self.directory.by_token.get(token)
         if entry is None:
             return HoldForToken(token) if token else Drop("no-token")
@@ -335,8 +332,7 @@
             header.route_address, now - self.settings.removed_route_grace_s
         ):
             return Reset(header.ack_number, "route-removed")
-        ended_at = entry.ended_at
-        if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
+        if self._is_over(entry, now):
             return Reset(header.ack_number, "server-ended")
         self.load_tracker.record_packet(header, token, now)
         if self._is_server_lost(header, entry.record, now):
@@ -344,6 +340,28 @@
             return Reset(header.ack_number, "server-silent")
         return Forward(entry.record, token)
 
+    def _server_token(self, header: PacketHeader, now: float) -> int:
+        """Return the token of the server that a packet of an open flow goes to.
+
+        A late answer of another server to a copy of the SYN gives the caller a token
+        that is not that of the flow's server. If this VM forwarded the SYN that the
+        caller went on from, it knows better.
+        """
+        flow = self.load_tracker.flow_of_packet(header)
+        if flow is None or flow.token == header.token:
+            return header.token
+        own_entry = self.directory.by_token.get(flow.token)
+        if own_entry is None or self._is_over(own_entry, now):
+            return header.token
+        return flow.token if flow.token in flow.tried_tokens else header.token
+
+    def _is_over(self, entry: ServerEntry, now: float) -> bool:
+        """Return whether a server's end is known for longer than the grace period."""
+        ended_at = entry.ended_at
+        return (
+            ended_at is not None and ended_at < now - self.settings.ended_server_grace_s
+        )
+
     def _is_server_lost(
         self, header: PacketHeader, record: ServerRecord, now: float
     ) -> bool:
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -700,3 +700,49 @@
     opened = make_data_packet(record.token, sequence=sequence, length=0)
     router.route_packet(opened, NOW_S + 0.1)
     assert bool(router.syn_buffer.by_flow) is waits_on
+
+
+def open_flow(router, sequence=101):
+    """Open a flow through a router; return the server that its caller answered."""
+    server = router.route_packet(make_syn(), NOW_S).server
+    router.route_packet(make_data_packet(server.token, sequence=sequence), NOW_S + 0.1)
+    return server
+
+
+# Guards against an open flow that is led to, and reset by, the server of a copy that
+# went through another VM: its late SYN+ACK gave the caller that server's token.
+@pytest.mark.parametrize("sequence", [101, 20_000])
+@pytest.mark.parametrize("phase", [Phase.READY, Phase.ENDED, None])
+def test_an_open_flow_stays_where_it_opened_whatever_token_comes(sequence, phase):
+    router = make_router(make_server_record("i-1"))
+    server = open_flow(router)
+    other = make_server_record("i-2", phase=phase or Phase.READY)
+    if phase is not None:
+        router.store_record(other, NOW_S)
+    packet = make_data_packet(other.token, sequence=sequence)
+    sent = router.route_packet(packet, NOW_S + 5.0)
+    assert sent == Forward(server, server.token)
+
+
+# Guards against a new flow that is led to the server of an old one on the same port.
+@pytest.mark.parametrize("copied", [False, True])
+def test_a_flow_on_the_port_of_an_old_one_goes_by_its_own_token(copied):
+    router = make_router(make_server_record("i-1"), make_server_record("i-2"))
+    first = router.route_packet(make_syn(), NOW_S).server
+    if copied:
+        router.route_packet(make_syn(retransmission_count=1), NOW_S + 0.2)
+    router.route_packet(make_data_packet(first.token), NOW_S + 0.3)
+    other = make_server_record("i-2" if first == make_server_record("i-1") else "i-1")
+    packet = make_data_packet(other.token, sequence=9_000_000)
+    assert router.route_packet(packet, NOW_S + 5.0) == Forward(other, other.token)
+
+
+# Guards against a flow that is kept from its server by the record of one that is gone.
+def test_a_flow_whose_known_server_is_gone_goes_by_its_token():
+    router = make_router(make_server_record("i-1"))
+    open_flow(router)
+    router.store_record(make_server_record("i-1", number=2, phase=Phase.ENDED), NOW_S)
+    other = make_server_record("i-2")
+    router.store_record(other, NOW_S)
+    packet = make_data_packet(other.token, sequence=110)
+    assert router.route_packet(packet, NOW_S + 5.0) == Forward(other, other.token)
