Reset no open flow for the end of a server that is not its own

What callers saw: a reset of an open flow (`server-ended`) whose server served on. Cause: a packet with the token of a server that had ended, which another VM had placed a copy of the opening packet on, was judged by that token alone, though this VM knew the flow by earlier packets to another server. Evidence: the new test fails without the change for the ended server. Ruled out: to prefer the known server while the token's server lives; either may be the flow's. Where the flow's server has ended, it is reset anyway, now by the other server. Change: a packet that carries on a flow known here goes to the known server if the server of its token is over and the known one isn't.

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -345,7 +345,8 @@
 
         A late answer of another server to a copy of the SYN gives the caller a token
         that is not that of the flow's server. If this VM forwarded the SYN that the
-        caller went on from, it knows better.
+        caller went on from, it knows better. If it knows the flow by its packets only,
+        it does once the token's server is over.
         """
         flow = self.load_tracker.flow_of_packet(header)
         if flow is None or flow.token == header.token:
@@ -353,7 +354,12 @@
         own_entry = self.directory.by_token.get(flow.token)
         if own_entry is None or self._is_over(own_entry, now):
             return header.token
-        return flow.token if flow.token in flow.tried_tokens else header.token
+        if flow.token in flow.tried_tokens:
+            return flow.token
+        named_entry = self.directory.by_token.get(header.token)
+        if named_entry is not None and self._is_over(named_entry, now):
+            return flow.token
+        return header.token
 
     def _is_over(self, entry: ServerEntry, now: float) -> bool:
         """Return whether a server's end is known for longer than the grace period."""
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -746,3 +746,14 @@
     router.store_record(other, NOW_S)
     packet = make_data_packet(other.token, sequence=110)
     assert router.route_packet(packet, NOW_S + 5.0) == Forward(other, other.token)
+
+
+# Guards against an open flow that is reset for the end of a server that isn't its own.
+@pytest.mark.parametrize("phase", [Phase.READY, Phase.ENDED])
+def test_a_flow_known_by_its_packets_is_not_reset_for_another_servers_end(phase):
+    own, other = make_server_record("i-1"), make_server_record("i-2", phase=phase)
+    router = make_router(own, other)
+    router.route_packet(make_data_packet(own.token), NOW_S)
+    packet = make_data_packet(other.token, sequence=110)
+    expected = other if phase == Phase.READY else own
+    assert router.route_packet(packet, NOW_S + 0.1) == Forward(expected, expected.token)
