--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -348,10 +348,7 @@
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
-        flow = self.load_tracker.flows.get(header.flow_key)
-        token = header.token
-        if flow is not None and flow.is_established and token in flow.tried_tokens:
-            token = flow.token
+        token = self._server_token(header, now)
         entry = self.directory.by_token.get(token)
         if entry is None:
             return HoldForToken(token) if token else Drop("no-token")
@@ -359,8 +356,7 @@
             header.route_address, now - self.settings.removed_route_grace_s
         ):
             return Reset(header.ack_number, "route-removed")
-        ended_at = entry.ended_at
-        if ended_at is not None and ended_at < now - self.settings.ended_server_grace_s:
+        if self._is_over(entry, now):
             return Reset(header.ack_number, "server-ended")
         self.load_tracker.record_packet(header, token, now)
         if not self._is_server_suspect(header, entry.record, now):
@@ -369,6 +365,34 @@
             return self.reset_lost_flow(header)
         return ForwardAndProbe(entry.record, token, self.probes.start(token, now))
 
+    def _server_token(self, header: PacketHeader, now: float) -> int:
+        """Return the token of the server that a packet of an open flow goes to.
+
+        A late answer of another server to a copy of the SYN gives the caller a token
+        that is not that of the flow's server. If this VM forwarded the SYN that the
+        caller went on from, it knows better. If it knows the flow by its packets only,
+        it does once the token's server is over.
+        """
+        flow = self.load_tracker.flow_of_packet(header)
+        if flow is None or flow.token == header.token:
+            return header.token
+        own_entry = self.directory.by_token.get(flow.token)
+        if own_entry is None or self._is_over(own_entry, now):
+            return header.token
+        if flow.token in flow.tried_tokens:
+            return flow.token
+        named_entry = self.directory.by_token.get(header.token)
+        if named_entry is not None and self._is_over(named_entry, now):
+            return flow.token
+        return header.token
+
+    def _is_over(self, entry: ServerEntry, now: float) -> bool:
+        """Return whether a server's end is known for longer than the grace period."""
+        ended_at = entry.ended_at
+        return (
+            ended_at is not None and ended_at < now - self.settings.ended_server_grace_s
+        )
+
     def _is_unanswered(self, header: PacketHeader, now: float) -> bool:
         """Return whether a caller retransmits while its server answers no caller."""
         return self.load_tracker.is_server_unresponsive(
