Test that no order of late copies and tokens moves an open flow

Cause: the tests of late copies and of tokens of other servers each take one order. Change: a generated test: up to three copies are placed, the caller goes on from the first, and late copies and packets with any known token follow in any order.

--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -757,3 +757,38 @@
     packet = make_data_packet(other.token, sequence=110)
     expected = other if phase == Phase.READY else own
     assert router.route_packet(packet, NOW_S + 0.1) == Forward(expected, expected.token)
+
+
+LATE_PACKETS = st.one_of(
+    st.builds(make_syn, retransmission_count=st.integers(0, 2)),
+    st.builds(
+        make_data_packet,
+        st.sampled_from([make_server_record(f"i-{n}").token for n in (1, 2, 3)]),
+        sequence=st.integers(101, 30_000),
+        length=st.integers(0, 1200),
+    ),
+)
+
+
+# Guards against any order of late copies, and of packets with tokens of other servers,
+# that leads an open flow away from its server.
+@given(
+    st.integers(0, 2),
+    st.lists(st.tuples(LATE_PACKETS, st.floats(0.0, 0.3)), max_size=20),
+)
+def test_an_open_flow_stays_whatever_copies_and_tokens_come(copies, late_packets):
+    router = make_router(*(make_server_record(f"i-{n}") for n in (1, 2, 3)))
+    offsets_s = router.settings.syn_transmission_offsets_s[: copies + 1]
+    tokens = [
+        router.route_packet(make_syn(1, copy), NOW_S + offset_s).token
+        for copy, offset_s in enumerate(offsets_s)
+    ]
+    now = NOW_S + offsets_s[-1] + 0.05
+    router.route_packet(make_data_packet(tokens[0]), now)
+    for header, later_s in late_packets:
+        now += later_s
+        decision = router.route_packet(header, now)
+        if header.is_syn:
+            assert decision == Drop("flow-open")
+        else:
+            assert decision.token == tokens[0]
