Take hearsay of a late server for nothing while its holder is heard

Two control VMs that are cut off from each other mark each other's servers late; an entry VM that hears both suspected them. Change: the entry VM asks its follower whether a server is late by more than hearsay. The test of late-by-hearsay is stricter: no reset comes even if probes are unanswered. The test of the reset line hears the holder, as its word counts only then.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -118,6 +118,7 @@
         self.follower = Follower(
             FollowerSettings(settings.vm, settings.zone, False, settings.seeds)
         )
+        self.router.is_known_late = self.follower.is_known_late
         self.counts: Counter[str] = Counter()
         self.started_at = now
         self.has_served = False
--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -115,13 +115,14 @@
     late = SERVER._replace(doubts=1)
     listen(core, 0.0, 2.0, "a", "b")
     core.message("c2", answer("b", late), 2.0)
-    listen(core, 2.1, 3.5, "a")
+    listen(core, 2.1, 3.0, "a", "b")
+    listen(core, 3.0, 3.5, "a")
     resets(core, 2.5, 2.8, 3.2)
     core.probed(SERVER.token, ProbeResult.REFUSED, 3.2)
     (line,) = [fields for event, fields in lines if event == "flow-reset"]
     assert line["server"] == SERVER.report.lifetime
     assert (line["holder"], line["late"]) == ("c2", True)
-    assert line["holder_heard_s"] == pytest.approx(1.2)
+    assert line["holder_heard_s"] == pytest.approx(0.3)
     assert line["control_heard_s"] < 0.2
 
 
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -433,7 +433,7 @@
         core.message("c1", answer(), now)
         sent = core.packet(b"data 7 %d" % record.token, now)
         if any(isinstance(one, Probe) for one in sent):
-            sent += core.probed(record.token, ProbeResult.ACCEPTED, now + 0.01)
+            sent += core.probed(record.token, ProbeResult.UNANSWERED, now + 0.01)
         resets += [one for one in datagrams(sent) if one.startswith(b"reset")]
     assert resets == []
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from random import Random
 
 from kumquatmux_core.decisions import log as log_decision
@@ -59,6 +60,8 @@
         lost_holders: Control VMs of the zones that nothing has been heard of for long
             enough that a live server would report to another one by now.
         probes: Probes of the servers whose flows may be lost.
+        is_known_late: Tells whether the reports of a server stopped, by more than the
+            word of a control VM that does not hear the one that they go to.
         listening_since: Time since which this VM has read packets and messages without
             a pause.
     """
@@ -84,6 +87,7 @@
         self.last_full_at: dict[ServiceName, float] = {}
         self.lost_holders: frozenset[VmId] = frozenset()
         self.probes = ServerProbes(settings)
+        self.is_known_late: Callable[[ServerRecord, float], bool] = _is_called_late
         self.listening_since = now
 
     def route_packet(self, header: PacketHeader, now: float) -> Decision:
@@ -413,7 +417,8 @@
             return False
         is_zone_unreachable = record.report.zone in self.load_tracker.unreachable_zones
         is_holder_lost = record.holder in self.lost_holders
-        return record.is_late or (is_zone_unreachable and is_holder_lost)
+        is_cut_off = is_zone_unreachable and is_holder_lost
+        return is_cut_off or self.is_known_late(record, now)
 
     def _decide_without_route(self, header: PacketHeader) -> Decision:
         if not self.route_table.document_number:
@@ -462,3 +467,8 @@
             token=token,
             strikes=local_load.unanswered_syns,
         )
+
+
+def _is_called_late(record: ServerRecord, now: float) -> bool:
+    """Return whether any control VM calls a server late."""
+    return record.is_late
