Split what an entry VM concludes from silence, its effects and its loop

Change: contact.py (silence of control VMs), effects.py, and EntryLoop in daemon.py. After a pause EntryLoop reads what waited before anything newer, so that an opening packet that comes later is not taken for one that waited; zones are judged anew at once. Result: the tests of the entry VM's core, its programs and the adapter pass.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Callable
 from functools import singledispatchmethod
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import Endpoint, VmId
+from kumquatmux_core.identity import VmId
 from kumquatmux_daemons.failures import log_contained
+from kumquatmux_daemons.token_entry.contact import ControlContact
+from kumquatmux_daemons.token_entry.effects import Datagram, Effect, Probe, Sent
 from kumquatmux_daemons.token_entry.formats import EntryFormat
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.follower import Follower, FollowerSettings
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
-from kumquatmux_registry.records import Lifetime, ServerRecord
+from kumquatmux_registry.records import ServerRecord
 from kumquatmux_registry.table import ServerTable
 from kumquatmux_tokens.packets import (
     Decision,
@@ -61,46 +62,13 @@
 """
 
 
-class Datagram(NamedTuple):
-    """A datagram of the packet port.
-
-    Attributes:
-        data: Its bytes.
-        target: IP number and port it goes to.
-    """
-
-    data: bytes
-    target: tuple[str, int]
-
-
-class Sent(NamedTuple):
-    """A message for another VM."""
-
-    vm: VmId
-    message: Any
-
-
-class Probe(NamedTuple):
-    """A connection to ask a server for, to see whether it still answers.
-
-    Attributes:
-        token: Token of the server.
-        endpoint: Address and port of the server.
-    """
-
-    token: int
-    endpoint: Endpoint
-
-
-Effect = Datagram | Sent | Probe
-
-
 class EntryCore:
     """One entry VM's decisions.
 
     Attributes:
         router: Where packets go.
         follower: What control VMs tell.
+        contact: What may be concluded from their silence.
         counts: Decisions by kind.
         is_ready: Whether the fabric may send packets here.
         is_stopping: Whether it is about to stop.
@@ -118,7 +86,7 @@
         self.follower = Follower(
             FollowerSettings(settings.vm, settings.zone, False, settings.seeds)
         )
-        self.router.is_known_late = self.follower.is_known_late
+        self.contact = ControlContact(self.follower, self.router)
         self.counts: Counter[str] = Counter()
         self.started_at = now
         self.has_served = False
@@ -126,7 +94,6 @@
         self.poll_at = now
         self.sweep_at = now
         self.retry_at = now
-        self.was_fed = False
         # Bound once: binding such a method anew costs more than most of its calls.
         self.apply_decision = self._apply_decision
         self.handle_message = self._handle_message
@@ -161,7 +128,7 @@
         An error spoils this packet only: the state that packets share is a count of
         load, which expires, and packets of other flows do not depend on it.
         """
-        self._note_look(now)
+        self.contact.note_look(now)
         head = self.format.read_head(data)
         if head is None:
             self.counts["packets.unread"] += 1
@@ -173,12 +140,12 @@
 
         An error spoils this message only: whatever has to arrive is sent again.
         """
-        self._note_look(now)
+        self.contact.note_look(now)
         return self._contained("message", self.handle_message, message, now)
 
     def probed(self, token: int, result: ProbeResult, now: float) -> list[Effect]:
         """Return what follows from the result of a probe."""
-        self._note_look(now)
+        self.contact.note_look(now)
         self.counts[f"probes.{result.value}"] += 1
         log_decision("server-probed", token=token, result=result.value)
         effects: list[Effect] = []
@@ -188,14 +155,14 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Return what is due."""
-        self._note_look(now)
+        self.contact.note_look(now)
         effects: list[Effect] = []
         if now >= self.sweep_at:
             self.sweep_at = now + POLL_S
             self.router.remove_expired(now)
             self.table.remove_ended(now - ENDED_RETENTION_S)
-            self._note_feed(now)
-            self._note_zones(now)
+            self.contact.note_feed(now)
+            self.contact.note_zones(now)
         if now >= self.poll_at:
             is_searching = not self.router.route_table.document_number
             self.poll_at = now + (SEARCH_S if is_searching else POLL_S)
@@ -212,14 +179,6 @@
         self.follower.is_stopping = True
         return [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
 
-    def _note_look(self, now: float) -> None:
-        """Note that this VM reads what has arrived, before it judges by silence."""
-        listening = self.follower.listening
-        listening.note(now)
-        if listening.since > self.router.listening_since:
-            self.router.note_pause(listening.since, listening.latest_gap_s)
-            log_decision("vm-resumed", paused_s=round(listening.latest_gap_s, 2))
-
     def _contained(
         self, subject: str, work: Callable[..., list[Effect]], *given: Any
     ) -> list[Effect]:
@@ -275,7 +234,7 @@
             opening=head.is_syn,
             token=head.token,
             document=self.router.route_table.document_number,
-            **self._reset_evidence(head, now),
+            **self.contact.evidence_about(head.token, now),
         )
         reset = self.format.reset_for(data, decision.sequence_number)
         target = (self.format.caller_ip(data), self.settings.packets.port)
@@ -348,8 +307,7 @@
         taken = message if routes is not None else message._replace(content=b"")
         self.follower.take(taken, now)
         self.router.coordinators.set_entry_vms(self.follower.peers)
-        if message.sender in self.router.lost_holders:
-            self._note_zones(now)
+        self.contact.note_answer(message.sender, now)
         if routes is not None:
             self.router.install_routes(routes, now)
             if self.table.name_services(routes.services):
@@ -393,29 +351,6 @@
     def _(self, message: TokenAnswer, now: float) -> list[Effect]:
         return self._merge((message.record,), now)
 
-    def _reset_evidence(
-        self, head: PacketHeader, now: float
-    ) -> dict[str, Lifetime | VmId | bool | float]:
-        """Return what is known here of the server of a flow that is reset."""
-        entry = self.router.directory.by_token.get(head.token)
-        if entry is None:
-            return {}
-        record = entry.record
-        return {
-            "server": record.report.lifetime,
-            "holder": record.holder,
-            "late": record.is_late,
-            "holder_heard_s": self._heard_s(record.holder, now),
-            "control_heard_s": self._heard_s(None, now),
-        }
-
-    def _heard_s(self, vm: VmId | None, now: float) -> float:
-        """Return the seconds since a control VM, or any, was heard; -1 if never."""
-        sources = self.follower.sources
-        heard = [one.heard_at for name, one in sources.items() if vm in (name, None)]
-        latest = max(heard, default=-math.inf)
-        return round(now - latest, 2) if latest > -math.inf else -1.0
-
     def _reset_lost(self, held: BufferedPacket, now: float) -> list[Effect]:
         decision = self.router.reset_lost_flow(held.header)
         return self.apply_decision(decision, held.header, held.data, now)
@@ -479,16 +414,3 @@
 
     def _report_load(self, now: float) -> list[Effect]:
         return [Sent(vm, report) for vm, report in self.router.due_load_reports(now)]
-
-    def _note_zones(self, now: float) -> None:
-        silent = self.follower.silent_zones(now) - {self.settings.zone}
-        if silent != self.router.load_tracker.unreachable_zones:
-            log_decision("zones-silent", zones=",".join(sorted(silent)))
-        self.router.load_tracker.unreachable_zones = silent
-        self.router.lost_holders = self.follower.lost_vms(now)
-
-    def _note_feed(self, now: float) -> None:
-        is_fed = self.follower.is_fed(now)
-        if is_fed != self.was_fed:
-            log_decision("feed-current" if is_fed else "feed-stale")
-        self.was_fed = is_fed
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from functools import partial
 from random import Random
 from typing import Any, NamedTuple
@@ -19,7 +19,8 @@
 from kumquatmux_daemons.plain_http.server import HttpAnswer, HttpCall, serve_http
 from kumquatmux_daemons.running import Steering
 from kumquatmux_daemons.timers import Timer
-from kumquatmux_daemons.token_entry.core import Datagram, Effect, EntryCore, Probe
+from kumquatmux_daemons.token_entry.core import EntryCore
+from kumquatmux_daemons.token_entry.effects import Datagram, Effect, Probe
 from kumquatmux_daemons.token_entry.formats import EntryFormat
 from kumquatmux_daemons.token_entry.probing import probe_server
 from kumquatmux_daemons.token_entry.settings import EntrySettings
@@ -52,17 +53,84 @@
     packets: PacketPort
     peers: PeerDatagrams
 
-    def carry_out(
-        self, start_probe: Callable[[Probe], None], effects: Iterable[Effect]
+
+class EntryLoop:
+    """Hands what arrives to the core, and carries out what follows.
+
+    Attributes:
+        core: Decides.
+        ports: Where packets and messages go.
+        lines: Where the lines of decisions go.
+        nursery: Runs the probes.
+        timer: Runs ``tick`` when something is due.
+    """
+
+    def __init__(
+        self, core: EntryCore, ports: Ports, lines: LineWriter, nursery: trio.Nursery
     ) -> None:
+        self.core = core
+        self.ports = ports
+        self.lines = lines
+        self.nursery = nursery
+        self.timer = Timer()
+
+    def start(self) -> None:
+        """Start to take packets and messages, and to do what is due."""
+        packets, peers = self.ports
+        self.nursery.start_soon(packets.serve, self.take_packet, self.end_packets)
+        self.nursery.start_soon(peers.serve, self.take_message, self.end_batch)
+        self.nursery.start_soon(self.timer.run, self.tick)
+
+    def take_packet(self, data: bytes, source: tuple[str, int], now: float) -> None:
+        """Take a packet of a caller."""
+        self.lines.set_time(now)
+        self.carry_out(self.core.packet(data, now))
+
+    def take_message(self, sender: VmId, message: Any, now: float) -> None:
+        """Take a message of another VM."""
+        self.lines.set_time(now)
+        self.carry_out(self.core.message(sender, message, now))
+
+    def end_batch(self, now: float) -> None:
+        """Plan the next tick after a batch."""
+        self.timer.move_forward(self.core.due_at(now))
+
+    def end_packets(self, now: float) -> None:
+        """End a batch of packets."""
+        if self.ports.packets.is_queue_empty:
+            self.core.router.backlog.note_queue_empty()
+        self.end_batch(now)
+
+    def tick(self, now: float) -> float:
+        """Do what is due; return when something is due next.
+
+        After a pause the packets that waited are read at once, so that later ones count
+        as fresh.
+        """
+        self.lines.tick(now)
+        self.carry_out(self.core.tick(now))
+        if self.core.router.backlog.is_unread(now):
+            self.ports.packets.read_batch(self.take_packet, now)
+            self.end_packets(now)
+        return self.core.due_at(now)
+
+    def carry_out(self, effects: Iterable[Effect]) -> None:
         """Send what the core wants sent, and start the probes that it wants."""
         for effect in effects:
             if isinstance(effect, Datagram):
-                self.packets.send(effect.data, effect.target)
+                self.ports.packets.send(effect.data, effect.target)
             elif isinstance(effect, Probe):
-                start_probe(effect)
+                self.nursery.start_soon(self.probe, effect)
             else:
-                self.peers.send(effect.vm, effect.message)
+                self.ports.peers.send(effect.vm, effect.message)
+
+    async def probe(self, wanted: Probe) -> None:
+        """Probe a server and tell the core the result."""
+        timeout_s = self.core.router.settings.probe_timeout_s
+        result = await probe_server(wanted.endpoint, timeout_s)
+        now = trio.current_time()
+        self.lines.set_time(now)
+        self.carry_out(self.core.probed(wanted.token, result, now))
 
 
 async def run_entry(parts: EntryParts) -> None:
@@ -98,53 +166,16 @@
     steering = parts.steering
     random = Random(secrets.randbits(64))
     core = EntryCore(settings, parts.format, random, trio.current_time())
-    timer = Timer()
-    lines = parts.lines
-
-    async def probe(wanted: Probe) -> None:
-        timeout_s = core.router.settings.probe_timeout_s
-        result = await probe_server(wanted.endpoint, timeout_s)
-        now = trio.current_time()
-        lines.set_time(now)
-        carry_out(core.probed(wanted.token, result, now))
-
-    def start_probe(wanted: Probe) -> None:
-        nursery.start_soon(probe, wanted)
-
-    carry_out = partial(ports.carry_out, start_probe)
-
-    def take_packet(data: bytes, source: tuple[str, int], now: float) -> None:
-        lines.set_time(now)
-        carry_out(core.packet(data, now))
-
-    def take_message(sender: VmId, message: Any, now: float) -> None:
-        lines.set_time(now)
-        carry_out(core.message(sender, message, now))
-
-    def end_batch(now: float) -> None:
-        timer.move_forward(core.due_at(now))
-
-    def end_packets(now: float) -> None:
-        if ports.packets.is_queue_empty:
-            core.router.backlog.note_queue_empty()
-        end_batch(now)
-
-    def tick(now: float) -> float:
-        lines.tick(now)
-        carry_out(core.tick(now))
-        return core.due_at(now)
-
-    nursery.start_soon(ports.packets.serve, take_packet, end_packets)
-    nursery.start_soon(ports.peers.serve, take_message, end_batch)
-    nursery.start_soon(timer.run, tick)
+    loop = EntryLoop(core, ports, parts.lines, nursery)
+    loop.start()
     nursery.start_soon(serve_http, settings.readiness, readiness_handler(core))
-    answer_metrics = metrics_handler(core, ports, lines)
+    answer_metrics = metrics_handler(core, ports, parts.lines)
     nursery.start_soon(serve_http, settings.metrics, answer_metrics)
     steering.steer(core.follower)
     nursery.start_soon(steering.watch_settings)
     log_decision("started", role="entry", zone=settings.zone)
     await steering.stopping.wait()
-    carry_out(core.stop(trio.current_time()))
+    loop.carry_out(core.stop(trio.current_time()))
     await trio.sleep(settings.stop_s)
 
 
--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -34,7 +34,8 @@
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.core import CoreParts, RegistrarCore
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
-from kumquatmux_daemons.token_entry.core import Datagram, EntryCore
+from kumquatmux_daemons.token_entry.core import EntryCore
+from kumquatmux_daemons.token_entry.effects import Datagram
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams
 from kumquatmux_daemons.transport.intake import NUMBER_LIMIT, record_problem, take_in
--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -9,7 +9,8 @@
 
 from kumquatmux_core import decisions
 from kumquatmux_core.identity import Address, Endpoint
-from kumquatmux_daemons.token_entry.core import Datagram, EntryCore, Probe
+from kumquatmux_daemons.token_entry.core import EntryCore
+from kumquatmux_daemons.token_entry.effects import Datagram, Probe
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
@@ -27,7 +27,8 @@
 from kumquatmux_daemons.registrar.calls import Answer, Call
 from kumquatmux_daemons.registrar.core import Answered, CoreParts, RegistrarCore
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
-from kumquatmux_daemons.token_entry.core import Datagram, EntryCore
+from kumquatmux_daemons.token_entry.core import EntryCore
+from kumquatmux_daemons.token_entry.effects import Datagram
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.endings import MESSAGE_TYPES as LEAVE_MESSAGES
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
--- a/libs/lab/src/kumquatmux_lab/token_load/model.py
+++ b/libs/lab/src/kumquatmux_lab/token_load/model.py
@@ -10,7 +10,8 @@
 from typing import Any, NamedTuple
 
 from kumquatmux_core.identity import Endpoint, VmId, ZoneName
-from kumquatmux_daemons.token_entry.core import Effect, EntryCore, Probe, Sent
+from kumquatmux_daemons.token_entry.core import EntryCore
+from kumquatmux_daemons.token_entry.effects import Effect, Probe, Sent
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_lab.token_load.wire import SERVICE, Packet, TextFormat, decode
 from kumquatmux_registry.feed import FeedAnswer
