Keep no record of a flow for the next one on its port, nor for a late token

Cause: the record of a flow was kept by port alone, and its server never revised. Change: a packet far from where a flow stands starts a new record; one that cannot be of the flow that is opening changes none; a token that two packets carry, with more acknowledged in the second, is that of the flow's server. Probes judge the news again.

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -57,6 +57,9 @@
         first_sequence_number: Sequence number after the SYN, or of the first packet
             that passed this VM.
         next_sequence_number: Sequence number after the last byte of the caller's data.
+        other_token: Token of another server that the latest packets carried, 0 if
+            the latest one carried that of the flow's server.
+        other_ack_number: Acknowledgment number of the first of these packets.
     """
 
     __slots__ = (
@@ -71,6 +74,8 @@
         "syn_forwarded_at",
         "retransmissions",
         "last_packet_at",
+        "other_ack_number",
+        "other_token",
         "token",
         "tried_tokens",
     )
@@ -89,6 +94,8 @@
         self.baseline_ack_number = 0
         self.has_sent_request = False
         self.next_sequence_number = 0
+        self.other_token = 0
+        self.other_ack_number = 0
 
 
 class LocalLoad:
@@ -189,8 +196,24 @@
         flow = self.flows.get(header.flow_key)
         if flow is None or not flow.is_established:
             return None
-        offset = header.sequence_number - flow.next_sequence_number + FLOW_REACH_BYTES
-        return flow if offset % SEQUENCE_SPACE <= 2 * FLOW_REACH_BYTES else None
+        return flow if _carries_on(flow, header) else None
+
+    def note_token(self, flow: Flow, header: PacketHeader, now: float) -> None:
+        """Note the token of a packet of an open flow.
+
+        A late answer to a copy of the SYN leaves another server's token with the
+        caller until the flow's server sends anything. Packets that carry it while more
+        and more is acknowledged show that it is the token of the flow's server.
+        """
+        if header.token == flow.token:
+            flow.other_token = 0
+        elif header.token != flow.other_token:
+            flow.other_token = header.token
+            flow.other_ack_number = header.ack_number
+        elif _is_sequence_after(header.ack_number, flow.other_ack_number):
+            flow.other_token = 0
+            flow.tried_tokens = ()
+            self._move(flow, header.token, now)
 
     def record_syn(self, header: PacketHeader, token: int, now: float) -> None:
         """Record that a flow's SYN packet goes to a server."""
@@ -241,6 +264,11 @@
     def record_packet(self, header: PacketHeader, token: int, now: float) -> None:
         """Update the load from a packet that is not a SYN."""
         flow = self.flows.get(header.flow_key)
+        if flow is not None and self._is_of_former_flow(flow, header, now):
+            return
+        if flow is not None and flow.is_established and not _carries_on(flow, header):
+            self._remove(header.flow_key)
+            flow = None
         if flow is None:
             if not self._has_room():
                 return
@@ -374,16 +402,31 @@
         flow.baseline_ack_number = header.ack_number
         flow.next_sequence_number = header.sequence_number
         if flow.token != token:
-            has_request = flow.request_sent_at is not None
-            self._end_request(flow)
-            self._count_open_flow(flow.token, -1)
-            flow.token = token
-            self._count_open_flow(token, 1)
-            if has_request:
-                self._start_request(flow, now)
+            self._move(flow, token, now)
         if flow.tried_tokens:
             self._record_handshake(flow, now)
 
+    def _move(self, flow: Flow, token: int, now: float) -> None:
+        """Count a flow at another server, with its request in progress."""
+        has_request = flow.request_sent_at is not None
+        self._end_request(flow)
+        self._count_open_flow(flow.token, -1)
+        flow.token = token
+        self._count_open_flow(token, 1)
+        if has_request:
+            self._start_request(flow, now)
+
+    def _is_of_former_flow(self, flow: Flow, header: PacketHeader, now: float) -> bool:
+        """Return whether a packet is of the flow before the one that is opening.
+
+        That one had the same port; its last packets may come late.
+        """
+        if flow.is_established:
+            return False
+        offset = (header.sequence_number - flow.first_sequence_number) % SEQUENCE_SPACE
+        is_opening = now - flow.syn_forwarded_at < self.settings.caller_syn_timeout_s
+        return is_opening and offset > OPENING_REACH_BYTES
+
     def _record_handshake(self, flow: Flow, now: float) -> None:
         """Record that the server answered the SYN packet that this VM forwarded."""
         self.latencies.record("handshake", now - flow.syn_forwarded_at)
@@ -435,6 +478,12 @@
     return 0 < offset <= OPENING_REACH_BYTES
 
 
+def _carries_on(flow: Flow, header: PacketHeader) -> bool:
+    """Return whether a packet's sequence number is near where an open flow stands."""
+    offset = header.sequence_number - flow.next_sequence_number + FLOW_REACH_BYTES
+    return offset % SEQUENCE_SPACE <= 2 * FLOW_REACH_BYTES
+
+
 def _is_sequence_after(number: int, reference: int) -> bool:
     """Return whether a sequence number comes after another, allowing for wraparound."""
     return 0 < (number - reference) % SEQUENCE_SPACE < HALF_SEQUENCE_SPACE
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -173,10 +173,17 @@
     ) -> list[BufferedPacket]:
         """Record the result of a probe; return the packets of flows that are lost.
 
-        A flow is not lost if an answer arrived while its server was probed.
+        A flow is not lost if an answer, or better news of its server, arrived while the
+        server was probed.
         """
         packets = self.probes.record(token, result, now, self.listening_since)
-        return [one for one in packets if self._is_unanswered(one.header, now)]
+        entry = self.directory.by_token.get(token)
+        if entry is None:
+            return []
+        record = entry.record
+        return [
+            one for one in packets if self._is_server_suspect(one.header, record, now)
+        ]
 
     def reset_lost_flow(self, header: PacketHeader) -> Reset:
         """Return the decision for a packet of a flow whose server is lost."""
@@ -378,7 +385,10 @@
         it does once the token's server is over.
         """
         flow = self.load_tracker.flow_of_packet(header)
-        if flow is None or flow.token == header.token:
+        if flow is None:
+            return header.token
+        self.load_tracker.note_token(flow, header, now)
+        if flow.token == header.token:
             return header.token
         own_entry = self.directory.by_token.get(flow.token)
         if own_entry is None or self._is_over(own_entry, now):
@@ -397,12 +407,6 @@
             ended_at is not None and ended_at < now - self.settings.ended_server_grace_s
         )
 
-    def _is_unanswered(self, header: PacketHeader, now: float) -> bool:
-        """Return whether a caller retransmits while its server answers no caller."""
-        return self.load_tracker.is_server_unresponsive(
-            header.flow_key, self.listening_since, now
-        )
-
     def _is_server_suspect(
         self, header: PacketHeader, record: ServerRecord, now: float
     ) -> bool:
@@ -413,7 +417,10 @@
         control VM that it reports to. Unanswered SYN packets are no evidence: a server
         that is full answers none, and goes on with the flows that it has.
         """
-        if not header.payload_length or not self._is_unanswered(header, now):
+        is_unanswered = self.load_tracker.is_server_unresponsive(
+            header.flow_key, self.listening_since, now
+        )
+        if not header.payload_length or not is_unanswered:
             return False
         is_zone_unreachable = record.report.zone in self.load_tracker.unreachable_zones
         is_holder_lost = record.holder in self.lost_holders
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -826,3 +826,64 @@
             assert decision == Drop("flow-open")
         else:
             assert decision.token == tokens[0]
+
+
+def make_two_servers():
+    """Return a router and its servers: that of a flow's SYN, and the other one."""
+    records = (make_server_record("i-1"), make_server_record("i-2"))
+    router = make_router(*records)
+    first = router.route_packet(make_syn(), NOW_S).server
+    (other,) = [record for record in records if record != first]
+    return router, first, other
+
+
+def route_data(router, record, numbers, now):
+    """Return the servers of packets that carry a token, each acknowledging more."""
+    return [
+        router.route_packet(
+            make_data_packet(
+                record.token, sequence=number, acknowledged=600 + number % 1000
+            ),
+            now + number % 1000 / 1000,
+        ).server
+        for number in numbers
+    ]
+
+
+# Guards against packets of a new flow that go to the server of the former flow on its
+# port, whose end and whose successor's SYN passed another VM.
+@pytest.mark.parametrize("start", [5_000_000, 2_000_000_000])
+def test_a_new_flow_on_a_known_port_goes_by_its_token(start):
+    router, first, other = make_two_servers()
+    route_data(router, first, [101], NOW_S)
+    sent = route_data(router, other, range(start, start + 54, 9), NOW_S + 1)
+    assert sent == [other] * 6
+
+
+# Guards against a late token that binds a flow to another server for good: the flow
+# opened at a server that another VM sent a copy of the SYN to.
+def test_a_flow_that_was_seen_with_a_late_token_first_returns_to_its_server():
+    router, first, other = make_two_servers()
+    route_data(router, first, [101], NOW_S)
+    sent = route_data(router, other, range(110, 164, 9), NOW_S + 1)
+    assert sent == [first] + [other] * 5
+
+
+# Guards against copies of a SYN that are dropped as its flow seems to be open, after a
+# late packet of the former flow on its port.
+def test_a_late_packet_of_a_former_flow_opens_no_flow():
+    router, first, _ = make_two_servers()
+    route_data(router, first, [3_000_000_000], NOW_S + 0.01)
+    copy = router.route_packet(make_syn(retransmission_count=1), NOW_S + 0.2)
+    assert isinstance(copy, Forward)
+
+
+# Guards against a reset although the server was reported to be in time meanwhile.
+def test_flow_whose_server_is_refuted_to_be_late_during_a_probe_is_not_reset():
+    record = make_server_record("i-1")._replace(doubts=1)
+    router = make_router(record)
+    retransmit(router, record.token)
+    router.probes.hold(make_data_packet(record.token), b"", record.token, NOW_S + 0.6)
+    router.store_record(record._replace(doubts=2), NOW_S + 1.0)
+    result = ProbeResult.UNANSWERED
+    assert router.record_probe(record.token, result, NOW_S + 2.1) == []
