Probe no address that is no IP number

Found by a review: an address that cannot be read raises in the probe's task, which ends the program; a host name would be looked up. Change: such an address counts as not probed. Result: five addresses in a test; the program's tests pass.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/probing.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/probing.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from kumquatmux_core.addresses import is_sendable
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_tokens.probes import ProbeResult
 
@@ -28,6 +29,8 @@
         endpoint: IP number and port of the server.
         timeout_s: Seconds after which the server counts as silent.
     """
+    if not is_sendable(endpoint):
+        return ProbeResult.NOT_MADE
     try:
         with trio.move_on_after(timeout_s), trio.socket.socket() as connection:
             await connection.connect(endpoint)
--- a/libs/daemons/tests/test_probing.py
+++ b/libs/daemons/tests/test_probing.py
@@ -60,3 +60,9 @@
 ):
     monkeypatch.setattr(trio.socket, "socket", lambda: BrokenSocket(error))
     assert await probe_server(Endpoint("127.0.0.1", 9), 1.5) == result
+
+
+# Guards against a report with an odd address that ends the program, or is looked up.
+@pytest.mark.parametrize("ip", ["a..b", "nonsense", "10.0.0.9\x00", "\u00fc" * 70, ""])
+async def test_an_address_that_is_no_number_is_not_probed(ip):
+    assert await probe_server(Endpoint(ip, 80), 60.0) == ProbeResult.NOT_MADE
