Send copies of a SYN that reach two VMs to one server

What callers saw: by reading, a reset by a server that they never opened a flow at, or by an entry VM once that server had ended (server-ended), while their own server served. Cause: each VM asked its placer anew for its copy of a SYN, and the placer chose anew, so that two servers answered; the caller keeps the token of the last answer until its own server sends anything. A VM that knows nothing of such a flow cannot tell whose token it is. Ruled out: asking other VMs about a flow whose token's server has ended (a question to all for each flow of each server that ends). Change: a placer keeps the server of each flow for the 1.4 s that its caller waits, and names it again, unless it is late, avoided, drains, or was tried by the VM that asks.

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -31,6 +31,7 @@
 )
 from kumquatmux_tokens.pools import ServerPools
 from kumquatmux_tokens.probes import ProbeResult, ServerProbes
+from kumquatmux_tokens.recent import RecentPlacements
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer, TokenLookupBuffer
@@ -50,6 +51,7 @@
         token_buffer: Packets that are buffered while their token is looked up.
         syn_buffer: SYN packets that are buffered until a server can take their flow.
         backlog: Packets that waited in the socket's queue while this VM was paused.
+        recent: Servers of the flows that were placed here a short time ago.
         coordinators: Selects the placement coordinator of each service.
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
@@ -79,6 +81,7 @@
         self.token_buffer = TokenLookupBuffer(settings)
         self.syn_buffer = SynBuffer(settings)
         self.backlog = Backlog(settings)
+        self.recent = RecentPlacements(settings)
         self.coordinators = CoordinatorSelector(settings)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
@@ -117,7 +120,7 @@
     ) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
         new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
-        selection = self._select_server(question.service, new_flow)
+        selection = self._select_server(question.flow_key, question.service, new_flow)
         own_vm = self.settings.vm
         if selection is None:
             return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
@@ -238,6 +241,7 @@
         self.directory.remove_ended(now - 2 * self.settings.flow_idle_timeout_s - 90.0)
         self.token_buffer.remove_expired(now)
         self.probes.remove_expired(now)
+        self.recent.remove_expired(now)
         self.coordinators.remove_expired(now)
 
     def _route_syn(self, header: PacketHeader, now: float) -> Decision:
@@ -292,7 +296,7 @@
             self.load_tracker.expects_many_requests(header.route_address),
             now,
         )
-        selection = self._select_server(service, new_flow)
+        selection = self._select_server(header.flow_key, service, new_flow)
         if selection is None:
             return self._decide_without_server(header, service, now)
         self.last_served_at[service] = now
@@ -327,10 +331,29 @@
         )
 
     def _select_server(
-        self, service: ServiceName, new_flow: NewFlow
+        self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
     ) -> Selection | None:
+        recent_entry = self._recent_entry(flow_key, service, new_flow)
+        if recent_entry is not None:
+            return Selection(recent_entry, 0.0, 1, 0, False)
         pool = self.pools.pool(service)
-        return select_server(pool, new_flow, self.load_tracker, self.random)
+        selection = select_server(pool, new_flow, self.load_tracker, self.random)
+        if selection is not None and not selection.is_full:
+            self.recent.record(flow_key, selection.entry.token, new_flow.now)
+        return selection
+
+    def _recent_entry(
+        self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
+    ) -> ServerEntry | None:
+        """Return the server that another copy of a flow's SYN was sent to, if sound."""
+        token = self.recent.token_of(flow_key, new_flow.now)
+        entry = self.directory.accepting_entry(token)
+        if entry is None or token in new_flow.tried_tokens or entry.record.is_late:
+            return None
+        load = self.load_tracker.local_loads.get(token)
+        is_avoided = load is not None and load.avoided_until > new_flow.now
+        is_of_service = entry.record.report.service == service
+        return entry if is_of_service and not is_avoided else None
 
     def _reports_to(self, vm: VmId) -> OutgoingReports:
         return self.outgoing_reports.setdefault(vm, OutgoingReports())
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -887,3 +887,41 @@
     router.store_record(record._replace(doubts=2), NOW_S + 1.0)
     result = ProbeResult.UNANSWERED
     assert router.record_probe(record.token, result, NOW_S + 2.1) == []
+
+
+def ask_placement(router, sender, now, tried_tokens=(), caller=1):
+    flow_key = make_flow_key(caller, ROUTE_ADDRESS)
+    question = PlaceQuestion(sender, flow_key, "entries", tried_tokens, False)
+    return router.answer_placement_request(question, now).token
+
+
+# Guards against two servers that answer one flow, as copies of its SYN reach two VMs:
+# the caller keeps the token of the one that answers last.
+@pytest.mark.parametrize("caller", range(1, 6))
+def test_copies_of_a_syn_that_reach_two_vms_go_to_one_server(caller):
+    router = make_router(*(make_server_record(f"i-{number}") for number in range(1, 9)))
+    token = ask_placement(router, "e2", NOW_S, caller=caller)
+    assert ask_placement(router, "e3", NOW_S + 0.6, caller=caller) == token
+    assert router.route_packet(make_syn(caller), NOW_S + 0.7).token == token
+
+
+# Guards against copies that all go to a server that does not answer.
+def test_a_copy_goes_to_another_server_if_the_first_is_known_to_be_silent():
+    records = [make_server_record("i-1"), make_server_record("i-2")]
+    router = make_router(*records)
+    token = ask_placement(router, "e2", NOW_S)
+    assert ask_placement(router, "e2", NOW_S + 0.2, (token,)) != token
+    router.recent.record(make_flow_key(1, ROUTE_ADDRESS), token, NOW_S + 0.2)
+    (first,) = [record for record in records if record.token == token]
+    router.store_record(first._replace(doubts=1), NOW_S + 0.3)
+    assert ask_placement(router, "e3", NOW_S + 0.6) != token
+
+
+def test_placements_are_forgotten_once_callers_wait_no_longer():
+    router = make_router(make_server_record("i-1"))
+    ask_placement(router, "e2", NOW_S)
+    router.remove_expired(NOW_S + 1.3)
+    assert router.recent.token_by_flow
+    router.remove_expired(NOW_S + 1.4)
+    assert not router.recent.token_by_flow
+    assert not router.recent.placed
