Let a holder that stood still refute another VM's word of a server

Found by a review, with a test that failed: a control VM that wakes and reads another one's suspicion before a server's report took it over, and told it on as its own. Cause: whether it can refute counted its own pause as the server's silence. Change: it counts silence that it listened through, of a server that it has heard in this run of its process: one that has just started refutes nothing. Result: two tests; the first fails without the change.

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from expression import Error, Ok, Result
 
 from kumquatmux_core.decisions import log as log_decision
@@ -253,14 +251,19 @@
                 del self.last_holder_message_at[holder]
 
     def _can_refute(self, suspected: ServerRecord, now: float) -> bool:
-        """Return whether a suspected server has reported to this VM recently."""
+        """Return whether a suspected server's reports to this VM have not stopped.
+
+        After a pause of this VM its reports may wait to be read.
+        """
         name = suspected.report.lifetime.name
         existing = self.table.get(name)
         if existing is None or existing.report.lifetime != suspected.report.lifetime:
             return False
-        last_heard_at = self.endings.last_report_at.get(name, -math.inf)
-        is_recent = last_heard_at > now - self.settings.late_after_s
-        return existing.holder == self.own_vm and is_recent
+        heard_at = self.endings.last_report_at.get(name)
+        if existing.holder != self.own_vm or heard_at is None:
+            return False
+        silent_s = self.endings.listening.silent_s(heard_at, now)
+        return silent_s < self.settings.late_after_s
 
     def _is_overdue(self, record: ServerRecord, changed_at: float, now: float) -> bool:
         """Return whether this VM has listened for too long without a word."""
--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -375,3 +375,24 @@
 def test_a_starved_vm_marks_no_server_late(looked):
     changes = [looked.expire(1.0 + step * 1.5) for step in range(1, 12)]
     assert not any(changes)
+
+
+# Guards against a holder that stood still and takes another VM's word for its own, as
+# it reads that before the server's report.
+def test_a_holder_that_stood_still_refutes_a_suspicion(leases):
+    leases.report(make_report(1), 0.0)
+    look_until(leases, 0.0, 1.0)
+    suspected = leases.table.get("i-1").with_suspicion_toggled()
+    leases.expire(9.0)
+    assert leases.merge(suspected, 9.0)
+    assert not leases.table.get("i-1").is_late
+    look_until(leases, 9.25, 14.0)
+    assert leases.table.get("i-1").is_late
+
+
+# Guards against a holder that has just started and calls a dead server alive.
+def test_a_holder_that_never_heard_a_server_does_not_refute_a_suspicion(leases):
+    record = ServerRecord(make_report(1), leases.own_vm)
+    leases.merge(record, 0.0)
+    leases.merge(record.with_suspicion_toggled(), 0.1)
+    assert leases.table.get("i-1").is_late
