Make one probe in a second also while none can be made

Found by a review: a VM that is out of descriptors tried a probe for each suspect packet. Change: that none could be made counts for as long as a result.

--- a/libs/tokens/src/kumquatmux_tokens/probes.py
+++ b/libs/tokens/src/kumquatmux_tokens/probes.py
@@ -24,6 +24,9 @@
     NOT_MADE = "not-made"
 
 
+LOST_RESULTS = (ProbeResult.REFUSED, ProbeResult.UNANSWERED)
+
+
 class ServerProbe:
     """Latest probe of one server.
 
@@ -66,7 +69,7 @@
         probe = self._fresh(token, now)
         if probe is None or probe.result is None:
             return False
-        return probe.result != ProbeResult.ACCEPTED
+        return probe.result in LOST_RESULTS
 
     def hold(self, header: PacketHeader, data: bytes, token: int, now: float) -> None:
         """Keep a packet of a flow until the probe in progress has a result."""
@@ -95,14 +98,14 @@
             return []
         is_silent = result == ProbeResult.UNANSWERED
         has_paused = listening_since > probe.started_at
-        if result == ProbeResult.NOT_MADE or (is_silent and has_paused):
+        if is_silent and has_paused:
             del self.by_token[token]
             return []
         packets = list(probe.packets.values())
         probe.packets = {}
         probe.result = result
         probe.ended_at = now
-        return [] if result == ProbeResult.ACCEPTED else packets
+        return packets if result in LOST_RESULTS else []
 
     def remove_expired(self, now: float) -> None:
         """Remove probes that say nothing any more."""
--- a/libs/tokens/tests/test_load.py
+++ b/libs/tokens/tests/test_load.py
@@ -108,3 +108,13 @@
     assert other_tracker.peer_load.totals[7].active_requests == 1
     other_tracker.remove_expired(1.8)
     assert other_tracker.peer_load.totals == {}
+
+
+# Guards against copies of a packet that waited out a pause of this VM, and count as a
+# server's silence.
+def test_a_server_is_not_unresponsive_for_a_time_in_which_this_vm_stood_still(tracker):
+    for now in (0.1, 5.0, 5.0, 5.0):
+        tracker.record_packet(make_packet(length=9), 7, now)
+    assert tracker.is_server_unresponsive(FLOW_KEY, 0.0, 5.0)
+    assert not tracker.is_server_unresponsive(FLOW_KEY, 5.0, 5.4)
+    assert tracker.is_server_unresponsive(FLOW_KEY, 5.0, 5.5)
