--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -22,6 +22,7 @@
 RESTARTS_A_DAY = 16_000
 LOST_A_DAY = 160
 DAY_S = 86_400
+ENTRY_DESCRIPTORS = 4_100
 LIMIT_BYTES = 6_000
 LIMIT_CPU_PERCENT = 2.6
 LIMIT_MB = 32
@@ -303,6 +304,12 @@
             f"{new_flows:.2f}%",
             "built; as much with 400 servers of an address as with 4",
         ),
+        Row(
+            "probes open at once, a zone lost, limit 4,100 descriptors",
+            "one for each suspect server; nothing bounds them together",
+            f"{zone_servers:.0f}",
+            "built; " + verdict(zone_servers < ENTRY_DESCRIPTORS),
+        ),
         Row(
             "memory of counted flows",
             f"13,571 x {s['token_flow_bytes']:.0f} B",
