Stop a program of the soak that starts while all are stopped

Cause: a fault of the test: stop() kills the programs that run; one that is being started again just then was waited for without end. The program itself serves on as it should. Change: a program that is no longer wanted once it has started is killed.

--- a/tests/programs/programs.py
+++ b/tests/programs/programs.py
@@ -116,9 +116,13 @@
         out = (self.folder / f"{machine.name}.out").open("ab")
         err = (self.folder / f"{machine.name}.err").open("ab")
         with out, err:
-            return await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=environment, stdout=out, stderr=err
             )
+        if not machine.is_wanted:
+            # All were stopped while this one was about to start again.
+            process.kill()
+        return process
 
 
 def _catches_hang_up(machine: Machine) -> bool:
