Say in flow-reset lines what a VM knows of the flow that it resets

A VM now notes of each flow whether its packets show at which server it is open: all copies of its SYN passed here, went to that server, and the caller went on before the next copy; or more and more is acknowledged under that server's token. The line names the flow's server (token), the packet's token (carried), the server shown (confirmed) and all in question (may_be_at). A flow that was reset as silent stays known, so that the line can say so and a caller that missed the reset gets another. Three tests of resets now expect the token, too.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 from random import Random
-from typing import Any
+from typing import Any, TypedDict
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
@@ -62,6 +62,18 @@
 """
 
 
+class FlowEvidence(TypedDict, total=False):
+    """What is known of a flow that is reset.
+
+    Attributes:
+        confirmed: Token of the server at which it is open, 0 if that is not known.
+        may_be_at: Tokens of the servers at which it may be open.
+    """
+
+    confirmed: int
+    may_be_at: str
+
+
 class EntryCore:
     """One entry VM's decisions.
 
@@ -150,7 +162,7 @@
         log_decision("server-probed", token=token, result=result.value)
         effects: list[Effect] = []
         for held in self.router.record_probe(token, result, now):
-            effects += self._contained("packet", self._reset_lost, held, now)
+            effects += self._contained("packet", self._reset_lost, held, token, now)
         return effects
 
     def tick(self, now: float) -> list[Effect]:
@@ -232,9 +244,11 @@
             flow=head.flow_key.hex(),
             reason=decision.reason,
             opening=head.is_syn,
-            token=head.token,
+            token=decision.token,
+            carried=head.token,
             document=self.router.route_table.document_number,
-            **self.contact.evidence_about(head.token, now),
+            **self.contact.evidence_about(decision.token, now),
+            **self._knowledge_about(head),
         )
         reset = self.format.reset_for(data, decision.sequence_number)
         target = (self.format.caller_ip(data), self.settings.packets.port)
@@ -351,8 +365,20 @@
     def _(self, message: TokenAnswer, now: float) -> list[Effect]:
         return self._merge((message.record,), now)
 
-    def _reset_lost(self, held: BufferedPacket, now: float) -> list[Effect]:
-        decision = self.router.reset_lost_flow(held.header)
+    def _knowledge_about(self, head: PacketHeader) -> FlowEvidence:
+        """Return what is known of a flow that is reset, for a line."""
+        known = self.router.load_tracker.knowledge_of(
+            head.flow_key, head.sequence_number
+        )
+        if known is None or head.is_syn:
+            return {}
+        return {
+            "confirmed": known.confirmed_token,
+            "may_be_at": ",".join(map(str, known.tokens)),
+        }
+
+    def _reset_lost(self, held: BufferedPacket, token: int, now: float) -> list[Effect]:
+        decision = self.router.reset_lost_flow(held.header, token)
         return self.apply_decision(decision, held.header, held.data, now)
 
     def _read_document(self, answer: FeedAnswer, now: float) -> RouteSet | None:
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -10,6 +10,7 @@
 import math
 from collections import deque
 from collections.abc import Container
+from typing import NamedTuple
 
 from kumquatmux_core.identity import ZoneName
 from kumquatmux_core.latencies import Latencies
@@ -60,6 +61,14 @@
         other_token: Token of another server that the latest packets carried, 0 if
             the latest one carried that of the flow's server.
         other_ack_number: Acknowledgment number of the first of these packets.
+        latest_copy: Number of the latest SYN transmission that was forwarded here.
+        has_missed_copy: Whether an earlier transmission of the SYN did not pass here,
+            so that another VM may have sent it to another server.
+        is_confirmed: Whether its packets show that the flow is open at its server. A
+            token alone does not: a late answer to a copy of the SYN leaves another
+            server's.
+        proving_ack_number: Acknowledgment number since which packets have carried the
+            token of the flow's server, None if the latest one did not.
     """
 
     __slots__ = (
@@ -69,8 +78,12 @@
         "last_data_at",
         "request_sent_at",
         "next_sequence_number",
+        "has_missed_copy",
         "has_sent_request",
+        "is_confirmed",
         "is_established",
+        "latest_copy",
+        "proving_ack_number",
         "syn_forwarded_at",
         "retransmissions",
         "last_packet_at",
@@ -96,6 +109,23 @@
         self.next_sequence_number = 0
         self.other_token = 0
         self.other_ack_number = 0
+        self.latest_copy = -1
+        self.has_missed_copy = False
+        self.is_confirmed = False
+        self.proving_ack_number: int | None = None
+
+
+class FlowKnowledge(NamedTuple):
+    """What a VM knows of the server of a flow.
+
+    Attributes:
+        confirmed_token: Token of the server at which the flow is open, 0 if that is not
+            known.
+        tokens: Tokens of the servers at which it may be open.
+    """
+
+    confirmed_token: int
+    tokens: tuple[int, ...]
 
 
 class LocalLoad:
@@ -214,6 +244,25 @@
             flow.other_token = 0
             flow.tried_tokens = ()
             self._move(flow, header.token, now)
+            flow.is_confirmed = True
+
+    def knowledge_of(
+        self, flow_key: bytes, sequence_number: int
+    ) -> FlowKnowledge | None:
+        """Return what is known of an open flow, None if nothing is.
+
+        Args:
+            flow_key: Key of the flow.
+            sequence_number: Sequence number of one of its packets, which tells it from
+                a flow that the caller had before on the same port.
+        """
+        flow = self.flows.get(flow_key)
+        if flow is None or not _is_near(_latest_number(flow), sequence_number):
+            return None
+        confirmed_token = flow.token if flow.is_confirmed else 0
+        return FlowKnowledge(
+            confirmed_token, tuple(sorted({flow.token, *flow.tried_tokens}))
+        )
 
     def record_syn(self, header: PacketHeader, token: int, now: float) -> None:
         """Record that a flow's SYN packet goes to a server."""
@@ -232,6 +281,9 @@
             self._count_open_flow(token, 1)
         if token not in flow.tried_tokens:
             flow.tried_tokens = (*flow.tried_tokens, token)
+        copy = header.retransmission_count
+        flow.has_missed_copy |= copy > flow.latest_copy + 1
+        flow.latest_copy = max(copy, flow.latest_copy)
         flow.syn_forwarded_at = now
         flow.last_packet_at = now
         self._start_request(flow, now)
@@ -281,6 +333,7 @@
         flow.last_packet_at = now
         if not flow.is_established:
             self._establish(flow, token, header, now)
+        _note_proof(flow, header)
         if header.is_fin_or_rst:
             self._remove(header.flow_key)
             return
@@ -404,14 +457,33 @@
         if flow.token != token:
             self._move(flow, token, now)
         if flow.tried_tokens:
+            flow.is_confirmed = self._is_only_answer(flow, header, now)
             self._record_handshake(flow, now)
 
+    def _is_only_answer(self, flow: Flow, header: PacketHeader, now: float) -> bool:
+        """Return whether only one server can have answered a flow's SYN.
+
+        All its transmissions passed here and went to that server, and the caller went
+        on before it would have sent another one.
+        """
+        offsets_s = (*self.settings.syn_transmission_offsets_s, math.inf)
+        copy = min(flow.latest_copy, len(offsets_s) - 2)
+        gap_s = offsets_s[copy + 1] - offsets_s[copy]
+        return (
+            not flow.has_missed_copy
+            and flow.tried_tokens == (header.token,)
+            and header.sequence_number == flow.first_sequence_number
+            and now - flow.syn_forwarded_at < gap_s
+        )
+
     def _move(self, flow: Flow, token: int, now: float) -> None:
         """Count a flow at another server, with its request in progress."""
         has_request = flow.request_sent_at is not None
         self._end_request(flow)
         self._count_open_flow(flow.token, -1)
         flow.token = token
+        flow.is_confirmed = False
+        flow.proving_ack_number = None
         self._count_open_flow(token, 1)
         if has_request:
             self._start_request(flow, now)
@@ -478,12 +550,38 @@
     return 0 < offset <= OPENING_REACH_BYTES
 
 
+def _latest_number(flow: Flow) -> int:
+    """Return the latest sequence number that is known of a flow, open or not."""
+    if flow.is_established:
+        return flow.next_sequence_number
+    return flow.first_sequence_number
+
+
 def _carries_on(flow: Flow, header: PacketHeader) -> bool:
     """Return whether a packet's sequence number is near where an open flow stands."""
-    offset = header.sequence_number - flow.next_sequence_number + FLOW_REACH_BYTES
+    return _is_near(flow.next_sequence_number, header.sequence_number)
+
+
+def _is_near(known_number: int, sequence_number: int) -> bool:
+    """Return whether two sequence numbers may be of one flow."""
+    offset = sequence_number - known_number + FLOW_REACH_BYTES
     return offset % SEQUENCE_SPACE <= 2 * FLOW_REACH_BYTES
 
 
+def _note_proof(flow: Flow, header: PacketHeader) -> None:
+    """Note whether a packet shows that a flow is open at its server.
+
+    It is if more and more is acknowledged under that server's token: the answers carry
+    the token that the caller's packets reached it under.
+    """
+    if header.token != flow.token:
+        flow.proving_ack_number = None
+    elif flow.proving_ack_number is None:
+        flow.proving_ack_number = header.ack_number
+    elif _is_sequence_after(header.ack_number, flow.proving_ack_number):
+        flow.is_confirmed = True
+
+
 def _is_sequence_after(number: int, reference: int) -> bool:
     """Return whether a sequence number comes after another, allowing for wraparound."""
     return 0 < (number - reference) % SEQUENCE_SPACE < HALF_SEQUENCE_SPACE
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -70,10 +70,12 @@
     Attributes:
         sequence_number: Sequence number of the reset packet.
         reason: Reason code for logs and metrics.
+        token: Token of the server that this VM takes for the flow's, 0 for none.
     """
 
     sequence_number: int
     reason: str
+    token: int = 0
 
 
 class HoldForToken(NamedTuple):
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -188,10 +188,9 @@
             one for one in packets if self._is_server_suspect(one.header, record, now)
         ]
 
-    def reset_lost_flow(self, header: PacketHeader) -> Reset:
+    def reset_lost_flow(self, header: PacketHeader, token: int) -> Reset:
         """Return the decision for a packet of a flow whose server is lost."""
-        self.load_tracker.remove_flow(header.flow_key)
-        return Reset(header.ack_number, "server-silent")
+        return Reset(header.ack_number, "server-silent", token)
 
     def reports_due_at(self) -> float:
         """Return when load reports are due next, infinity if there is nothing new.
@@ -389,14 +388,14 @@
         if self.route_table.was_removed_before(
             header.route_address, now - self.settings.removed_route_grace_s
         ):
-            return Reset(header.ack_number, "route-removed")
+            return Reset(header.ack_number, "route-removed", token)
         if self._is_over(entry, now):
-            return Reset(header.ack_number, "server-ended")
+            return Reset(header.ack_number, "server-ended", token)
         self.load_tracker.record_packet(header, token, now)
         if not self._is_server_suspect(header, entry.record, now):
             return Forward(entry.record, token)
         if self.probes.is_lost(token, now):
-            return self.reset_lost_flow(header)
+            return self.reset_lost_flow(header, token)
         return ForwardAndProbe(entry.record, token, self.probes.start(token, now))
 
     def _server_token(self, header: PacketHeader, now: float) -> int:
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -9,6 +9,7 @@
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_registry.table import mark_ended
+from kumquatmux_tokens.load import FlowKnowledge
 from kumquatmux_tokens.packets import (
     Drop,
     Forward,
@@ -172,7 +173,7 @@
     )
     assert router.route_packet(
         make_data_packet(token, acknowledged=640), NOW_S + 1.1
-    ) == Reset(640, "server-ended")
+    ) == Reset(640, "server-ended", token)
 
 
 def test_flows_of_the_previous_lifetime_are_reset_after_a_server_restart():
@@ -198,7 +199,7 @@
         router.route_packet(make_data_packet(record.token), NOW_S + 5.0), Forward
     )
     assert router.route_packet(make_data_packet(record.token), NOW_S + 6.1) == Reset(
-        500, "route-removed"
+        500, "route-removed", record.token
     )
 
 
@@ -295,7 +296,9 @@
     waiting = ForwardAndProbe(record, token, False)
     assert router.route_packet(packet, NOW_S + 0.7) == waiting
     router.record_probe(token, ProbeResult.UNANSWERED, NOW_S + 0.8)
-    assert router.route_packet(packet, NOW_S + 0.9) == Reset(500, "server-silent")
+    assert router.route_packet(packet, NOW_S + 0.9) == Reset(
+        500, "server-silent", token
+    )
 
 
 # Guards against a reset on the word of other VMs, though the server answers this one.
@@ -928,6 +931,48 @@
     assert not router.recent.placed
 
 
+def known_of_flow(router, sequence=101):
+    return router.load_tracker.knowledge_of(make_flow_key(1, ROUTE_ADDRESS), sequence)
+
+
+def test_a_flow_is_confirmed_if_one_server_only_can_have_answered_its_syn():
+    record = make_server_record("i-1")
+    router = make_router(record)
+    router.route_packet(make_syn(), NOW_S)
+    assert known_of_flow(router) == FlowKnowledge(0, (record.token,))
+    router.route_packet(make_data_packet(record.token), NOW_S + 0.1)
+    assert known_of_flow(router) == FlowKnowledge(record.token, (record.token,))
+    assert known_of_flow(router, sequence=900_000) is None
+
+
+@pytest.mark.parametrize(
+    "copy, sequence, after_s",
+    [
+        pytest.param(0, 101, 0.3, id="another copy may have gone elsewhere"),
+        pytest.param(1, 101, 0.1, id="the first copy went elsewhere"),
+        pytest.param(0, 200, 0.1, id="not the first packet after it"),
+    ],
+)
+def test_a_flow_is_not_confirmed_by_a_token_alone(copy, sequence, after_s):
+    record = make_server_record("i-1")
+    router = make_router(record)
+    router.route_packet(make_syn(retransmission_count=copy), NOW_S)
+    packet = make_data_packet(record.token, sequence=sequence)
+    router.route_packet(packet, NOW_S + after_s)
+    assert known_of_flow(router) == FlowKnowledge(0, (record.token,))
+
+
+def test_a_flow_is_confirmed_by_answers_that_carry_its_servers_token():
+    router, first, other = make_two_servers()
+    for token, acknowledged in ((first.token, 500), (other.token, 600)):
+        packet = make_data_packet(token, acknowledged=acknowledged)
+        router.route_packet(packet, NOW_S + 0.3)
+        assert known_of_flow(router).confirmed_token == 0
+    packet = make_data_packet(other.token, acknowledged=700)
+    router.route_packet(packet, NOW_S + 0.4)
+    assert known_of_flow(router).confirmed_token == other.token
+
+
 # Guards against a reset of an open flow whose caller carries the token of another
 # server, left by a late answer to a copy of its SYN, after that server has ended.
 @pytest.mark.xfail(strict=True, reason="late-token-of-an-ended-server in KNOWN-RED.txt")
