Send packets of a server's former lifetime to the one that runs

Cause: a token names a lifetime, a datagram the server's id alone. A server that starts again under its id takes packets that are sent under its former token, so that until its first report is known, flows open at it under that token. Once the report came, the former lifetime was over and its token led to a reset, though nobody but the server can tell which of these flows it holds.

Change: packets under the token of a lifetime whose name runs again, for the same service, go to the one that runs, under its token. It answers for itself, with its own reset for flows that it doesn't hold. Copies of a SYN follow too.

--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -115,6 +115,22 @@
         )
         return entry if accepts_flows else None
 
+    def running_entry(self, token: int) -> ServerEntry | None:
+        """Return the lifetime that packets under a token reach, None if unknown.
+
+        A server that starts again under its name takes packets that are sent under the
+        token of its former lifetime, too. It may have taken flows under it before its
+        first report came, and only it can tell which of them it holds.
+        """
+        entry = self.by_token.get(token)
+        if entry is None or entry.ended_at is None:
+            return entry
+        report = entry.record.report
+        latest = self.by_token.get(self.by_name.get(report.lifetime.name, 0))
+        if latest is None or latest.record.report.service != report.service:
+            return entry
+        return latest
+
     def remove_ended(self, limit: float) -> None:
         """Remove lifetimes that ended before a given time."""
         for token, entry in list(self.by_token.items()):
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -242,10 +242,14 @@
             flow.other_ack_number = header.ack_number
         elif _is_sequence_after(header.ack_number, flow.other_ack_number):
             flow.other_token = 0
-            flow.tried_tokens = ()
-            self._move(flow, header.token, now)
+            self.move_flow(flow, header.token, now)
             flow.is_confirmed = True
 
+    def move_flow(self, flow: Flow, token: int, now: float) -> None:
+        """Count a flow at another server, which its packets go to from now on."""
+        flow.tried_tokens = ()
+        self._move(flow, token, now)
+
     def knowledge_of(
         self, flow_key: bytes, sequence_number: int
     ) -> FlowKnowledge | None:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -180,7 +180,7 @@
         server was probed.
         """
         packets = self.probes.record(token, result, now, self.listening_since)
-        entry = self.directory.by_token.get(token)
+        entry = self.directory.running_entry(token)
         if entry is None:
             return []
         record = entry.record
@@ -260,9 +260,9 @@
             if self.load_tracker.record_unanswered_syn(flow, copy, now):
                 self._log_unanswered_syn(header, flow.token)
         elif flow is not None:
-            entry = self.directory.by_token.get(flow.token)
+            entry = self.directory.running_entry(flow.token)
             if entry is not None and entry.ended_at is None:
-                return Forward(entry.record, flow.token)
+                return Forward(entry.record, entry.token)
         tried_tokens = flow.tried_tokens if flow is not None else ()
         if header.flow_key in self.coordinators.pending_requests:
             if self.coordinators.is_pending(header.flow_key, now):
@@ -345,7 +345,9 @@
         self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
     ) -> ServerEntry | None:
         """Return the server that another copy of a flow's SYN was sent to, if sound."""
-        token = self.recent.token_of(flow_key, new_flow.now)
+        recent_token = self.recent.token_of(flow_key, new_flow.now)
+        running_entry = self.directory.running_entry(recent_token)
+        token = running_entry.token if running_entry is not None else 0
         entry = self.directory.accepting_entry(token)
         if entry is None or token in new_flow.tried_tokens or entry.record.is_late:
             return None
@@ -381,16 +383,19 @@
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
-        token = self._server_token(header, now)
-        entry = self.directory.by_token.get(token)
+        named_token = self._server_token(header, now)
+        entry = self.directory.running_entry(named_token)
         if entry is None:
-            return HoldForToken(token) if token else Drop("no-token")
+            return HoldForToken(named_token) if named_token else Drop("no-token")
+        token = entry.token
         if self.route_table.was_removed_before(
             header.route_address, now - self.settings.removed_route_grace_s
         ):
             return Reset(header.ack_number, "route-removed", token)
         if self._is_over(entry, now):
             return Reset(header.ack_number, "server-ended", token)
+        if token != named_token:
+            self._follow_restart(header, token, now)
         self.load_tracker.record_packet(header, token, now)
         if not self._is_server_suspect(header, entry.record, now):
             return Forward(entry.record, token)
@@ -398,6 +403,12 @@
             return self.reset_lost_flow(header, token)
         return ForwardAndProbe(entry.record, token, self.probes.start(token, now))
 
+    def _follow_restart(self, header: PacketHeader, token: int, now: float) -> None:
+        """Have a flow of a server's former lifetime count at the one that runs."""
+        flow = self.load_tracker.flow_of_packet(header)
+        if flow is not None:
+            self.load_tracker.move_flow(flow, token, now)
+
     def _server_token(self, header: PacketHeader, now: float) -> int:
         """Return the token of the server that a packet of an open flow goes to.
 
@@ -412,12 +423,12 @@
         self.load_tracker.note_token(flow, header, now)
         if flow.token == header.token:
             return header.token
-        own_entry = self.directory.by_token.get(flow.token)
+        own_entry = self.directory.running_entry(flow.token)
         if own_entry is None or self._is_over(own_entry, now):
             return header.token
         if flow.token in flow.tried_tokens:
             return flow.token
-        named_entry = self.directory.by_token.get(header.token)
+        named_entry = self.directory.running_entry(header.token)
         if named_entry is not None and self._is_over(named_entry, now):
             return flow.token
         return header.token
