Ask the zone where a flow is open before it is reset for its server's end

Cause: copies of a SYN are placed at two servers, the caller goes on with one, and the late answer of the other leaves that one's token with the caller. A VM that doesn't hold the flow, as the rotation has moved it, acted on the token alone: it reset the flow once the other server had ended (server-ended) or was lost (server-silent).

Change: kumquatmux_tokens/lost_flows.py alone decides whether a flow may be reset for the end or loss of its server. A VM that saw the flow open there resets it. One that didn't asks the entry VMs of its zone (64 at most) and waits 0.1 s: the flow is reset if one of them saw it open at the server that is gone, goes on at the server where one saw it open, or else at the one other running server that it was placed at. Where nobody knows, the packet is dropped: silence makes a caller try again, a wrong reset breaks a flow. A flow that a VM saw open at its server isn't handed to that of a late token any more.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -21,6 +21,7 @@
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_registry.table import ServerTable
 from kumquatmux_tokens.packets import (
+    AskZone,
     Decision,
     Drop,
     Forward,
@@ -33,6 +34,7 @@
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.probes import ProbeResult
+from kumquatmux_tokens.questions import FlowAnswer, FlowQuestion
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import RouteSet
 from kumquatmux_tokens.settings import TokenRouterSettings
@@ -112,7 +114,12 @@
 
     def due_at(self, now: float) -> float:
         """Return when the next tick has something to do."""
-        due_at = min(self.sweep_at, self.poll_at, self.router.reports_due_at())
+        due_at = min(
+            self.sweep_at,
+            self.poll_at,
+            self.router.reports_due_at(),
+            self.router.lost_flows.due_at,
+        )
         if self.router.syn_buffer.by_flow:
             due_at = min(due_at, max(self.retry_at, now))
         return due_at
@@ -162,7 +169,7 @@
         log_decision("server-probed", token=token, result=result.value)
         effects: list[Effect] = []
         for held in self.router.record_probe(token, result, now):
-            effects += self._contained("packet", self._reset_lost, held, token, now)
+            effects += self._contained("packet", self._route_lost, held, token, now)
         return effects
 
     def tick(self, now: float) -> list[Effect]:
@@ -183,6 +190,10 @@
             effects += self._report_load(now)
         if now >= self.retry_at:
             effects += self._try_waiting(now)
+        for held in self.router.lost_flows.pop_due(now):
+            effects += self._contained(
+                "packet", self._route, held.header, held.data, now
+            )
         return effects
 
     def stop(self, now: float) -> list[Effect]:
@@ -309,6 +320,16 @@
         asked = {*self.router.random.sample(peers, min(len(peers), ASKED_PEERS))}
         return [Sent(vm, question) for vm in sorted(asked | {*self.follower.sources})]
 
+    @_apply_decision.register
+    def _(
+        self, decision: AskZone, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
+        self.router.lost_flows.hold(head, data)
+        if decision.question is None:
+            return []
+        self.counts["flows.asked"] += 1
+        return [Sent(vm, decision.question) for vm in decision.vms]
+
     @singledispatchmethod
     def _handle_message(self, message: Any, now: float) -> list[Effect]:
         self.counts["messages.unexpected"] += 1
@@ -377,8 +398,18 @@
             "may_be_at": ",".join(map(str, known.tokens)),
         }
 
-    def _reset_lost(self, held: BufferedPacket, token: int, now: float) -> list[Effect]:
-        decision = self.router.reset_lost_flow(held.header, token)
+    @_handle_message.register
+    def _(self, message: FlowQuestion, now: float) -> list[Effect]:
+        answer = self.router.lost_flows.answer(message, now)
+        return [] if answer is None else [Sent(message.sender, answer)]
+
+    @_handle_message.register
+    def _(self, message: FlowAnswer, now: float) -> list[Effect]:
+        held = self.router.lost_flows.record_answer(message)
+        return [] if held is None else self._route(held.header, held.data, now)
+
+    def _route_lost(self, held: BufferedPacket, token: int, now: float) -> list[Effect]:
+        decision = self.router.route_lost_packet(held.header, token, now)
         return self.apply_decision(decision, held.header, held.data, now)
 
     def _read_document(self, answer: FeedAnswer, now: float) -> RouteSet | None:
--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -33,6 +33,7 @@
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.records import ServerRecord, problem_of
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.questions import FlowAnswer, FlowQuestion
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
 MAX_TEXT_CHARACTERS = 512
@@ -153,6 +154,24 @@
     return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
 
 
+@_take_in.register
+def _(message: FlowQuestion) -> Result[Any, Problem]:
+    is_sound = len(message.flow_key) == FLOW_KEY_BYTES and _are_tokens(
+        (message.sequence_number,)
+    )
+    return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
+
+
+@_take_in.register
+def _(message: FlowAnswer) -> Result[Any, Problem]:
+    is_sound = (
+        len(message.flow_key) == FLOW_KEY_BYTES
+        and len(message.tokens) <= MAX_TRIED_TOKENS
+        and _are_tokens((message.confirmed_token, *message.tokens))
+    )
+    return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
+
+
 @_take_in.register
 def _(message: ElectionMessage) -> Result[Any, Problem]:
     return Ok(message) if _are_fields_bounded(message) else _refused(OUT_OF_BOUNDS)
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -389,6 +389,8 @@
     core.message("c1", answer(far, document=3, content=b"3"), 0.1)
     core.message("c2", answer()._replace(sender="c2", zone="b"), 0.1)
     renewed = far._replace(report=far.report._replace(number=2), holder="c1")
+    for kind in (b"data", b"answered"):
+        core.packet(kind + b" 7 %d" % far.token, 0.1)
     resets = []
     for step in range(1, 60):
         now = step / 10
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -250,6 +250,21 @@
         flow.tried_tokens = ()
         self._move(flow, token, now)
 
+    def adopt_flow(
+        self, header: PacketHeader, token: int, is_confirmed: bool, now: float
+    ) -> None:
+        """Have the packets of a flow go to a server that other VMs know it at."""
+        if self.flow_of_packet(header) is None:
+            self._remove(header.flow_key)
+            self.record_packet(header, token, now)
+        flow = self.flow_of_packet(header)
+        if flow is None:
+            return
+        if flow.token != token:
+            self.move_flow(flow, token, now)
+        flow.tried_tokens = (token,)
+        flow.is_confirmed = is_confirmed
+
     def knowledge_of(
         self, flow_key: bytes, sequence_number: int
     ) -> FlowKnowledge | None:
@@ -389,10 +404,6 @@
             and self.local_load_at(flow.token).last_answer_at <= flow.last_data_at
         )
 
-    def remove_flow(self, flow_key: bytes) -> None:
-        """Remove a flow and its load."""
-        self._remove(flow_key)
-
     def expire_syn_requests(self, now: float) -> None:
         """Stop counting the request of a SYN packet if its caller sent nothing more.
 
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -0,0 +1,255 @@
+"""The one place that decides whether a flow is reset because its server is gone.
+
+A token names a lifetime of a server, not a flow. A late answer to a copy of a SYN
+leaves the caller with the token of a server that its flow is not open at. So a VM
+resets a flow only if it, or another VM of its zone, saw that the flow is open at the
+server that is gone. Otherwise the flow's packets go to the one other server that it was
+placed at, or nowhere: a caller without an answer tries again, a wrong reset breaks its
+flow.
+"""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
+from kumquatmux_tokens.load import FlowKnowledge, LoadTracker
+from kumquatmux_tokens.packets import (
+    AskZone,
+    Decision,
+    Drop,
+    Forward,
+    PacketHeader,
+    Reset,
+)
+from kumquatmux_tokens.placers import CoordinatorSelector
+from kumquatmux_tokens.questions import FlowAnswer, FlowQuestion
+from kumquatmux_tokens.recent import RecentPlacements
+from kumquatmux_tokens.settings import TokenRouterSettings
+from kumquatmux_tokens.waiting import BufferedPacket
+
+NOTHING_KNOWN = FlowKnowledge(0, ())
+
+
+class Inquiry:
+    """What the VMs of the zone know of one flow whose server seems to be gone.
+
+    Attributes:
+        lost_token: Token of the server that seems to be gone.
+        reason: Reason code of a reset.
+        asked_at: Time when the other VMs were asked.
+        is_over: Whether no more answers are waited for.
+        knowledge: What this VM and the answers say of the flow.
+        packet: Latest packet of the flow, None if none waits.
+    """
+
+    __slots__ = ("asked_at", "is_over", "knowledge", "lost_token", "packet", "reason")
+
+    def __init__(
+        self, lost_token: int, reason: str, knowledge: FlowKnowledge, now: float
+    ) -> None:
+        self.lost_token = lost_token
+        self.reason = reason
+        self.knowledge = knowledge
+        self.asked_at = now
+        self.is_over = False
+        self.packet: BufferedPacket | None = None
+
+    def add(self, answer: FlowAnswer) -> None:
+        """Add what a VM knows. The inquiry is over once one saw the flow open."""
+        known = self.knowledge
+        self.knowledge = FlowKnowledge(
+            known.confirmed_token or answer.confirmed_token,
+            tuple(sorted({*known.tokens, *answer.tokens})),
+        )
+        self.is_over = bool(self.knowledge.confirmed_token)
+
+    def take_packet(self) -> BufferedPacket | None:
+        """Return the packet that waits, which waits no longer."""
+        packet = self.packet
+        self.packet = None
+        return packet
+
+
+class LostFlows:
+    """Flows whose servers seem to be gone, and what the zone knows of them.
+
+    Attributes:
+        by_flow: Inquiries by flow key, oldest first.
+        due_at: Time when answers to the oldest one are waited for no longer, infinity
+            if none are.
+    """
+
+    def __init__(
+        self,
+        settings: TokenRouterSettings,
+        random: Random,
+        directory: ServerDirectory,
+        load_tracker: LoadTracker,
+        coordinators: CoordinatorSelector,
+        recent: RecentPlacements,
+    ) -> None:
+        self.settings = settings
+        self.random = random
+        self.directory = directory
+        self.load_tracker = load_tracker
+        self.coordinators = coordinators
+        self.recent = recent
+        self.by_flow: dict[bytes, Inquiry] = {}
+        self.due_at = math.inf
+
+    def decide(
+        self, header: PacketHeader, lost_token: int, reason: str, now: float
+    ) -> Decision:
+        """Return the decision for a packet of a flow whose server seems to be gone.
+
+        Args:
+            header: Header of the packet.
+            lost_token: Token of the server that seems to be gone.
+            reason: Reason code of a reset.
+            now: Current time in monotonic seconds.
+        """
+        known = self._own_knowledge(header.flow_key, header.sequence_number, now)
+        if known.confirmed_token == lost_token:
+            return Reset(header.ack_number, reason, lost_token)
+        inquiry = self._inquiry(header, lost_token, now)
+        if inquiry is None:
+            return self._ask(header, Inquiry(lost_token, reason, known, now))
+        if not inquiry.is_over:
+            return AskZone((), None)
+        return self._conclude(inquiry, header, now)
+
+    def hold(self, header: PacketHeader, data: bytes) -> None:
+        """Keep a packet until the VMs that were asked have answered."""
+        inquiry = self.by_flow.get(header.flow_key)
+        if inquiry is not None:
+            inquiry.packet = BufferedPacket(header, data, inquiry.asked_at)
+
+    def answer(self, question: FlowQuestion, now: float) -> FlowAnswer | None:
+        """Return what this VM knows of another VM's flow, None if it knows nothing."""
+        known = self._own_knowledge(question.flow_key, question.sequence_number, now)
+        if known == NOTHING_KNOWN:
+            return None
+        own_vm = self.settings.vm
+        return FlowAnswer(
+            own_vm, question.flow_key, known.confirmed_token, known.tokens
+        )
+
+    def record_answer(self, answer: FlowAnswer) -> BufferedPacket | None:
+        """Record an answer; return the packet that waited for it, if it decides."""
+        inquiry = self.by_flow.get(answer.flow_key)
+        if inquiry is None or inquiry.is_over:
+            return None
+        inquiry.add(answer)
+        return inquiry.take_packet() if inquiry.is_over else None
+
+    def pop_due(self, now: float) -> list[BufferedPacket]:
+        """Return the packets for which no more answers are waited for."""
+        if now < self.due_at:
+            return []
+        due = []
+        self.due_at = math.inf
+        for inquiry in self.by_flow.values():
+            inquiry_due_at = inquiry.asked_at + self.settings.flow_inquiry_timeout_s
+            if now < inquiry_due_at:
+                self.due_at = inquiry_due_at
+                break
+            inquiry.is_over = True
+            packet = inquiry.take_packet()
+            if packet is not None:
+                due.append(packet)
+        return due
+
+    def remove_expired(self, now: float) -> None:
+        """Remove the inquiries whose outcome holds no longer."""
+        for flow_key, inquiry in list(self.by_flow.items()):
+            if now >= inquiry.asked_at + self.settings.flow_inquiry_validity_s:
+                del self.by_flow[flow_key]
+
+    def _inquiry(
+        self, header: PacketHeader, lost_token: int, now: float
+    ) -> Inquiry | None:
+        """Return the inquiry into a flow that is in progress or still holds."""
+        inquiry = self.by_flow.get(header.flow_key)
+        if inquiry is None or inquiry.lost_token != lost_token:
+            return None
+        is_valid = now < inquiry.asked_at + self.settings.flow_inquiry_validity_s
+        return inquiry if is_valid else None
+
+    def _ask(self, header: PacketHeader, inquiry: Inquiry) -> Decision:
+        """Ask the other VMs of the zone for a flow, as far as there is room."""
+        others = [vm for vm in self.coordinators.entry_vms if vm != self.settings.vm]
+        if not others:
+            return self._conclude(inquiry, header, inquiry.asked_at)
+        self.by_flow.pop(header.flow_key, None)
+        if len(self.by_flow) >= self.settings.flow_inquiry_limit:
+            return Drop("flow-not-asked")
+        self.by_flow[header.flow_key] = inquiry
+        due_at = inquiry.asked_at + self.settings.flow_inquiry_timeout_s
+        self.due_at = min(self.due_at, due_at)
+        count = min(len(others), self.settings.flow_inquiry_vms)
+        log_decision(
+            "flow-asked",
+            flow=header.flow_key.hex(),
+            token=inquiry.lost_token,
+            reason=inquiry.reason,
+            asked=count,
+        )
+        question = FlowQuestion(
+            self.settings.vm, header.flow_key, header.sequence_number
+        )
+        return AskZone(tuple(self.random.sample(others, count)), question)
+
+    def _conclude(self, inquiry: Inquiry, header: PacketHeader, now: float) -> Decision:
+        """Return the decision for a packet by all that is known of its flow."""
+        known = inquiry.knowledge
+        entry = self._server_of(inquiry)
+        if entry is not None:
+            is_confirmed = entry.token == known.confirmed_token
+            self.load_tracker.adopt_flow(header, entry.token, is_confirmed, now)
+            self._log_found(header, inquiry, entry)
+            return Forward(entry.record, entry.token)
+        if known.confirmed_token:
+            return Reset(header.ack_number, inquiry.reason, known.confirmed_token)
+        return Drop("flow-unknown")
+
+    def _server_of(self, inquiry: Inquiry) -> ServerEntry | None:
+        """Return the running server at which a flow is open, None if it is not known.
+
+        A flow that no VM saw open was placed at several servers. If one other than the
+        one that is gone runs, the flow is open there, or nowhere.
+        """
+        known = inquiry.knowledge
+        tokens = (known.confirmed_token,) if known.confirmed_token else known.tokens
+        entries = {self.directory.running_entry(token) for token in tokens}
+        running = [
+            one
+            for one in entries
+            if one and one.ended_at is None and one.token != inquiry.lost_token
+        ]
+        return running[0] if len(running) == 1 else None
+
+    def _own_knowledge(
+        self, flow_key: bytes, sequence_number: int, now: float
+    ) -> FlowKnowledge:
+        known = self.load_tracker.knowledge_of(flow_key, sequence_number)
+        known = known or NOTHING_KNOWN
+        placed_token = self.recent.token_of(flow_key, now)
+        if not placed_token:
+            return known
+        tokens = tuple(sorted({*known.tokens, placed_token}))
+        return FlowKnowledge(known.confirmed_token, tokens)
+
+    def _log_found(
+        self, header: PacketHeader, inquiry: Inquiry, entry: ServerEntry
+    ) -> None:
+        log_decision(
+            "flow-found",
+            flow=header.flow_key.hex(),
+            token=entry.token,
+            lost=inquiry.lost_token,
+            reason=inquiry.reason,
+            confirmed=inquiry.knowledge.confirmed_token,
+        )
--- a/libs/tokens/src/kumquatmux_tokens/messages.py
+++ b/libs/tokens/src/kumquatmux_tokens/messages.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.questions import FlowAnswer, FlowQuestion
 from kumquatmux_tokens.work import LoadShare
 
 MESSAGE_TYPES: dict[int, type] = {
     0x0605: LoadShare,
     0x0606: PlaceQuestion,
     0x0607: PlaceAnswer,
+    0x0609: FlowQuestion,
+    0x060A: FlowAnswer,
 }
 """Message types by message kind, for the codec registry of a channel."""
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -7,6 +7,7 @@
 from kumquatmux_core.identity import VmId
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_tokens.placers import PlaceQuestion
+from kumquatmux_tokens.questions import FlowQuestion
 
 
 class PacketHeader(NamedTuple):
@@ -120,6 +121,18 @@
     request: PlaceQuestion
 
 
+class AskZone(NamedTuple):
+    """Decision to hold the packet while other VMs are asked where its flow is open.
+
+    Attributes:
+        vms: The VMs to ask, none if they have been asked.
+        question: The message to send to them, None if they have been asked.
+    """
+
+    vms: tuple[VmId, ...]
+    question: FlowQuestion | None
+
+
 Decision = (
     Forward
     | ForwardAndProbe
@@ -127,5 +140,6 @@
     | HoldForToken
     | HoldForServer
     | RequestPlacement
+    | AskZone
     | Drop
 )
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/questions.py
@@ -0,0 +1,40 @@
+"""Messages that ask the other VMs of the zone what they know of a flow."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kumquatmux_core.identity import VmId
+
+
+class FlowQuestion(NamedTuple):
+    """Asks at which server a flow is open.
+
+    A VM that knows nothing of the flow sends no answer.
+
+    Attributes:
+        sender: The asking VM.
+        flow_key: 12-byte flow key.
+        sequence_number: Sequence number of one of the flow's packets, which tells it
+            from a flow that the caller had before on the same port.
+    """
+
+    sender: VmId
+    flow_key: bytes
+    sequence_number: int
+
+
+class FlowAnswer(NamedTuple):
+    """Answer with what a VM knows of a flow.
+
+    Attributes:
+        sender: The answering VM.
+        flow_key: Flow key from the question.
+        confirmed_token: Token of the server at which it saw the flow open, 0 for none.
+        tokens: Tokens of the servers at which the flow may be open.
+    """
+
+    sender: VmId
+    flow_key: bytes
+    confirmed_token: int
+    tokens: tuple[int, ...]
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -13,6 +13,7 @@
 from kumquatmux_tokens.choice import NewFlow, Selection, select_server
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTracker
+from kumquatmux_tokens.lost_flows import LostFlows
 from kumquatmux_tokens.packets import (
     Decision,
     Drop,
@@ -53,6 +54,7 @@
         backlog: Packets that waited in the socket's queue while this VM was paused.
         recent: Servers of the flows that were placed here a short time ago.
         coordinators: Selects the placement coordinator of each service.
+        lost_flows: Decides whether flows whose servers seem to be gone are reset.
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
         reported_at: Time when load reports were last prepared.
@@ -83,6 +85,14 @@
         self.backlog = Backlog(settings)
         self.recent = RecentPlacements(settings)
         self.coordinators = CoordinatorSelector(settings)
+        self.lost_flows = LostFlows(
+            settings,
+            random,
+            self.directory,
+            self.load_tracker,
+            self.coordinators,
+            self.recent,
+        )
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
         self.reported_at = -math.inf
@@ -188,9 +198,11 @@
             one for one in packets if self._is_server_suspect(one.header, record, now)
         ]
 
-    def reset_lost_flow(self, header: PacketHeader, token: int) -> Reset:
+    def route_lost_packet(
+        self, header: PacketHeader, token: int, now: float
+    ) -> Decision:
         """Return the decision for a packet of a flow whose server is lost."""
-        return Reset(header.ack_number, "server-silent", token)
+        return self.lost_flows.decide(header, token, "server-silent", now)
 
     def reports_due_at(self) -> float:
         """Return when load reports are due next, infinity if there is nothing new.
@@ -241,6 +253,7 @@
         self.token_buffer.remove_expired(now)
         self.probes.remove_expired(now)
         self.recent.remove_expired(now)
+        self.lost_flows.remove_expired(now)
         self.coordinators.remove_expired(now)
 
     def _route_syn(self, header: PacketHeader, now: float) -> Decision:
@@ -393,14 +406,14 @@
         ):
             return Reset(header.ack_number, "route-removed", token)
         if self._is_over(entry, now):
-            return Reset(header.ack_number, "server-ended", token)
+            return self.lost_flows.decide(header, token, "server-ended", now)
         if token != named_token:
             self._follow_restart(header, token, now)
         self.load_tracker.record_packet(header, token, now)
         if not self._is_server_suspect(header, entry.record, now):
             return Forward(entry.record, token)
         if self.probes.is_lost(token, now):
-            return self.reset_lost_flow(header, token)
+            return self.route_lost_packet(header, token, now)
         return ForwardAndProbe(entry.record, token, self.probes.start(token, now))
 
     def _follow_restart(self, header: PacketHeader, token: int, now: float) -> None:
@@ -426,7 +439,7 @@
         own_entry = self.directory.running_entry(flow.token)
         if own_entry is None or self._is_over(own_entry, now):
             return header.token
-        if flow.token in flow.tried_tokens:
+        if flow.token in flow.tried_tokens or flow.is_confirmed:
             return flow.token
         named_entry = self.directory.running_entry(header.token)
         if named_entry is not None and self._is_over(named_entry, now):
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -75,6 +75,11 @@
             asked for before its flows are reset; a lost packet is sent again within.
         probe_validity_s: Seconds for which the result counts.
         probe_packets_limit: Limit of packets held for the result of one probe.
+        flow_inquiry_timeout_s: Seconds for which answers of the other VMs of the zone
+            are waited for that know where a flow is open.
+        flow_inquiry_validity_s: Seconds after the question for which its outcome holds.
+        flow_inquiry_limit: Limit of questions within that time.
+        flow_inquiry_vms: Limit of VMs that one question goes to.
         token_lookup_timeout_s: Seconds for which a packet with an unknown token is
             buffered; as long as a newly started entry VM may wait for a control VM that
             is starting too.
@@ -130,6 +135,10 @@
     probe_timeout_s: float = 1.5
     probe_validity_s: float = 1.0
     probe_packets_limit: int = 256
+    flow_inquiry_timeout_s: float = 0.1
+    flow_inquiry_validity_s: float = 1.0
+    flow_inquiry_limit: int = 256
+    flow_inquiry_vms: int = 64
     token_lookup_timeout_s: float = 1.5
     token_buffer_limit: int = 2048
     server_wait_s: float = 5.0
