Follow no late token that comes twice, nor away from where a flow was seen open

Cause: two packets with another server's token, the later one acknowledging more, moved a flow to that server, though a server leaves one late answer for each copy of the SYN that it got; and a VM that knew a flow by its packets only followed any token of a server that runs.

Change: answers in a row under one token are counted for the flow's and for another server's token alike. A server that got a copy of the SYN here needs three, more than its late answers can be; then the flow counts as open there, and its packets follow no other token. Tests show flows open by four packets in place of two.

--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -14,6 +14,7 @@
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
+from kumquatmux_tokens.load import PROVING_ANSWERS
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.probes import ProbeResult
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
@@ -69,7 +70,7 @@
     settings = EntrySettings("e1", "a", PLACE, PLACE, PLACE, PLACE, ("c1", "c2"))
     core = EntryCore(settings, OpenFlow(), Random(1), 0.0)
     core.message("c2", answer("b", SERVER), 0.0)
-    for acknowledged in (300, 400):
+    for acknowledged in (100, 200, 300, 400):
         core.packet(b"92 %d 9" % acknowledged, 0.0)
     return core
 
@@ -268,8 +269,8 @@
 
         It was idle for less time than flows are kept for: its server has answered.
         """
-        self.get_an_answer()
-        self.get_an_answer()
+        for _ in range(PROVING_ANSWERS + 1):
+            self.get_an_answer()
         self.probes = []
         self.server_lives = False
         self.heard = {"a"}
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -44,7 +44,7 @@
             kind == b"open",
             kind == b"close",
             0,
-            101 if kind != b"answered" else 110,
+            {b"open": 100, b"answered": 110}.get(kind, 101),
             0 if kind == b"open" else acknowledged,
             length,
         )
@@ -389,8 +389,8 @@
     core.message("c1", answer(far, document=3, content=b"3"), 0.1)
     core.message("c2", answer()._replace(sender="c2", zone="b"), 0.1)
     renewed = far._replace(report=far.report._replace(number=2), holder="c1")
-    for kind in (b"data", b"answered"):
-        core.packet(kind + b" 7 %d" % far.token, 0.1)
+    core.packet(b"open 7", 0.1)
+    core.packet(b"data 7 %d" % far.token, 0.1)
     resets = []
     for step in range(1, 60):
         now = step / 10
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -36,6 +36,13 @@
 More than its ends have in flight, and than pass other VMs before one comes here again.
 """
 
+PROVING_ANSWERS = 3
+"""Answers in a row under one token that show that a flow is open at its server.
+
+Each transmission of a SYN leaves one late answer at most, and the first packet with its
+token counts as no answer.
+"""
+
 
 class Flow:
     """State of one flow, derived from the caller's packets.
@@ -58,20 +65,20 @@
         first_sequence_number: Sequence number after the SYN, or of the first packet
             that passed this VM.
         next_sequence_number: Sequence number after the last byte of the caller's data.
-        other_token: Token of another server that the latest packets carried, 0 if
-            the latest one carried that of the flow's server.
-        other_ack_number: Acknowledgment number of the first of these packets.
+        named_token: Token that the latest packet carried.
+        named_ack_number: Acknowledgment number of the latest of the packets in a row
+            that carry that token and acknowledge more than the one before.
+        answers_in_a_row: Number of such packets after the first one.
         latest_copy: Number of the latest SYN transmission that was forwarded here.
         has_missed_copy: Whether an earlier transmission of the SYN did not pass here,
             so that another VM may have sent it to another server.
         is_confirmed: Whether its packets show that the flow is open at its server. A
             token alone does not: a late answer to a copy of the SYN leaves another
             server's.
-        proving_ack_number: Acknowledgment number since which packets have carried the
-            token of the flow's server, None if the latest one did not.
     """
 
     __slots__ = (
+        "answers_in_a_row",
         "baseline_ack_number",
         "counted_copy",
         "first_sequence_number",
@@ -83,12 +90,11 @@
         "is_confirmed",
         "is_established",
         "latest_copy",
-        "proving_ack_number",
+        "named_ack_number",
+        "named_token",
         "syn_forwarded_at",
         "retransmissions",
         "last_packet_at",
-        "other_ack_number",
-        "other_token",
         "token",
         "tried_tokens",
     )
@@ -107,12 +113,12 @@
         self.baseline_ack_number = 0
         self.has_sent_request = False
         self.next_sequence_number = 0
-        self.other_token = 0
-        self.other_ack_number = 0
+        self.named_token = 0
+        self.named_ack_number = 0
+        self.answers_in_a_row = 0
         self.latest_copy = -1
         self.has_missed_copy = False
         self.is_confirmed = False
-        self.proving_ack_number: int | None = None
 
 
 class FlowKnowledge(NamedTuple):
@@ -231,18 +237,18 @@
     def note_token(self, flow: Flow, header: PacketHeader, now: float) -> None:
         """Note the token of a packet of an open flow.
 
-        A late answer to a copy of the SYN leaves another server's token with the
-        caller until the flow's server sends anything. Packets that carry it while more
-        and more is acknowledged show that it is the token of the flow's server.
+        A late answer to a copy of the SYN leaves another server's token with the caller
+        until the flow's server sends anything. Packets in a row that carry one token
+        while more and more is acknowledged show that it is that of the flow's server,
+        if they are more than the late answers that a server can give.
         """
-        if header.token == flow.token:
-            flow.other_token = 0
-        elif header.token != flow.other_token:
-            flow.other_token = header.token
-            flow.other_ack_number = header.ack_number
-        elif _is_sequence_after(header.ack_number, flow.other_ack_number):
-            flow.other_token = 0
+        _count_answers(flow, header)
+        answers = flow.answers_in_a_row
+        may_be_late = header.token == flow.token or header.token in flow.tried_tokens
+        needed_answers = PROVING_ANSWERS if may_be_late else 1
+        if header.token != flow.token and answers >= needed_answers:
             self.move_flow(flow, header.token, now)
+        if header.token == flow.token and answers >= PROVING_ANSWERS:
             flow.is_confirmed = True
 
     def move_flow(self, flow: Flow, token: int, now: float) -> None:
@@ -351,8 +357,8 @@
             self._count_open_flow(token, 1)
         flow.last_packet_at = now
         if not flow.is_established:
+            _count_answers(flow, header)
             self._establish(flow, token, header, now)
-        _note_proof(flow, header)
         if header.is_fin_or_rst:
             self._remove(header.flow_key)
             return
@@ -498,7 +504,6 @@
         self._count_open_flow(flow.token, -1)
         flow.token = token
         flow.is_confirmed = False
-        flow.proving_ack_number = None
         self._count_open_flow(token, 1)
         if has_request:
             self._start_request(flow, now)
@@ -583,18 +588,15 @@
     return offset % SEQUENCE_SPACE <= 2 * FLOW_REACH_BYTES
 
 
-def _note_proof(flow: Flow, header: PacketHeader) -> None:
-    """Note whether a packet shows that a flow is open at its server.
-
-    It is if more and more is acknowledged under that server's token: the answers carry
-    the token that the caller's packets reached it under.
-    """
-    if header.token != flow.token:
-        flow.proving_ack_number = None
-    elif flow.proving_ack_number is None:
-        flow.proving_ack_number = header.ack_number
-    elif _is_sequence_after(header.ack_number, flow.proving_ack_number):
-        flow.is_confirmed = True
+def _count_answers(flow: Flow, header: PacketHeader) -> None:
+    """Count the packets in a row that carry one token and acknowledge more each."""
+    if header.token != flow.named_token:
+        flow.named_token = header.token
+        flow.named_ack_number = header.ack_number
+        flow.answers_in_a_row = 0
+    elif _is_sequence_after(header.ack_number, flow.named_ack_number):
+        flow.named_ack_number = header.ack_number
+        flow.answers_in_a_row += 1
 
 
 def _is_sequence_after(number: int, reference: int) -> bool:
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -342,7 +342,7 @@
 
 def confirm_flow(router, token, now):
     """Have a router see that the flow is open at a server, up to the next data."""
-    for acknowledged in (300, 400):
+    for acknowledged in (100, 200, 300, 400):
         packet = make_data_packet(token, sequence=92, acknowledged=acknowledged)
         router.route_packet(packet, now)
 
@@ -1036,15 +1036,33 @@
 
 def test_a_flow_is_confirmed_by_answers_that_carry_its_servers_token():
     router, first, other = make_two_servers()
-    for token, acknowledged in ((first.token, 500), (other.token, 600)):
-        packet = make_data_packet(token, acknowledged=acknowledged)
-        router.route_packet(packet, NOW_S + 0.3)
+    route_data(router, first, [101], NOW_S + 0.3)
+    for number in (110, 119, 128):
+        route_data(router, other, [number], NOW_S + 0.4)
         assert known_of_flow(router).confirmed_token == 0
-    packet = make_data_packet(other.token, acknowledged=700)
-    router.route_packet(packet, NOW_S + 0.4)
+    route_data(router, other, [137], NOW_S + 0.4)
     assert known_of_flow(router).confirmed_token == other.token
 
 
+# Guards against a flow that is handed to another server for its late answers: copies of
+# the SYN went to both, and a late answer to each leaves its token with the caller.
+def test_late_answers_of_a_server_that_was_tried_move_no_flow():
+    router, first, other = make_two_servers()
+    router.route_packet(make_syn(retransmission_count=1), NOW_S + 0.2)
+    route_data(router, first, [101], NOW_S + 0.3)
+    sent = route_data(router, other, [110, 119, 128], NOW_S + 0.4)
+    assert sent == [first] * 3
+
+
+# Guards against packets that follow a late token away from where they were answered.
+def test_a_flow_known_by_its_packets_stays_at_its_server_for_a_late_token():
+    record, other = make_server_record("i-1"), make_server_record("i-2")
+    router = make_router(record, other)
+    confirm_flow(router, record.token, NOW_S)
+    late = make_data_packet(other.token, sequence=101, acknowledged=400)
+    assert router.route_packet(late, NOW_S + 1.0) == Forward(record, record.token)
+
+
 # Guards against a reset of an open flow whose caller carries the token of another
 # server, left by a late answer to a copy of its SYN, after that server has ended.
 def test_a_flow_unknown_here_is_not_reset_for_a_late_token_of_an_ended_server():
