Remember for 10 s where a new flow was placed

Cause: a VM that is slow, but looks at its queue without a pause, reads a copy of a SYN seconds after it came. The zone's placement coordinator remembered for 1.4 s, as long as callers wait, where it had placed the flow; later copies were placed anew, at another server.

Change: it remembers for 10 s. A VM that got no answer of the coordinator and placed by itself is still unknown to the others.

--- a/libs/tokens/src/kumquatmux_tokens/recent.py
+++ b/libs/tokens/src/kumquatmux_tokens/recent.py
@@ -1,7 +1,8 @@
 """Servers of the flows that were placed a short time ago.
 
-Copies of one SYN may reach several VMs, as the fabric's choice changes. If each copy
-went to another server, both would answer, and the caller would keep the last token.
+Copies of one SYN may reach several VMs, as the fabric's choice changes, and a slow VM
+reads one seconds late. If each copy went to another server, both would answer, and the
+caller would keep the last token.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 
 
 class RecentPlacements:
-    """Token of the server of each flow that was placed while its caller may wait.
+    """Token of the server of each flow whose SYN may still come again.
 
     Attributes:
         token_by_flow: Token by flow key.
@@ -37,7 +38,7 @@
         return self.token_by_flow.get(flow_key, 0)
 
     def remove_expired(self, now: float) -> None:
-        """Remove the flows whose callers wait no longer."""
-        limit = now - self.settings.caller_syn_timeout_s
+        """Remove the flows of which no copy of the SYN can be on its way any more."""
+        limit = now - self.settings.placement_memory_s
         while self.placed and self.placed[0][0] <= limit:
             del self.token_by_flow[self.placed.popleft()[1]]
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -89,6 +89,8 @@
             VM.
         caller_syn_timeout_s: Seconds that a caller waits for the answer to its SYN
             packet.
+        placement_memory_s: Seconds for which the server of a new flow is remembered. A
+            slow VM reads a SYN packet that late.
         syn_transmission_offsets_s: Seconds between the first SYN packet and each of its
             transmissions.
         syn_buffer_limit: Limit of buffered SYN packets.
@@ -143,6 +145,7 @@
     token_buffer_limit: int = 2048
     server_wait_s: float = 5.0
     caller_syn_timeout_s: float = 1.4
+    placement_memory_s: float = 10.0
     syn_transmission_offsets_s: tuple[float, ...] = (0.0, 0.2, 0.6)
     syn_buffer_limit: int = 2048
     follow_up_share_threshold: float = 0.5
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -993,12 +993,21 @@
     assert ask_placement(router, "e3", NOW_S + 0.6) != token
 
 
-def test_placements_are_forgotten_once_callers_wait_no_longer():
+# Guards against a second answer to a flow that is open, as a slow VM read a copy of its
+# SYN late.
+def test_a_copy_of_a_syn_that_is_read_late_goes_to_the_server_of_its_flow():
+    router = make_router(*(make_server_record(f"i-{number}") for number in range(1, 9)))
+    token = ask_placement(router, "e2", NOW_S)
+    for delay_s in (1.5, 4.0, 9.9):
+        assert ask_placement(router, "e3", NOW_S + delay_s) == token
+
+
+def test_placements_are_forgotten_once_no_copy_can_be_on_its_way():
     router = make_router(make_server_record("i-1"))
     ask_placement(router, "e2", NOW_S)
-    router.remove_expired(NOW_S + 1.3)
+    router.remove_expired(NOW_S + 9.9)
     assert router.recent.token_by_flow
-    router.remove_expired(NOW_S + 1.4)
+    router.remove_expired(NOW_S + 10.0)
     assert not router.recent.token_by_flow
     assert not router.recent.placed
 
