End a lifetime only while the other control VMs are heard

Callers saw the flows of a draining server that lives reset as server-ended, by entry VMs of a cut-off zone: it had moved from control VM c1 to c2, the two are cut off from each other, and a late leave call of its earlier lifetime reached c1 (leave-at-a-former-holder).

Cause: c1 took its own silence for the server's. A VM that does not hear another control VM cannot know that it still is the one that the server reports to. An address that another server reports ended a lifetime in the same way.

Evidence: 10 tests fail on (with the two new calls of Leases there, doing nothing): the late leave call at 0.5, 2.5 and 20 s, what others told too early or long ago, a taken address, a cut that heals, and test_a_late_leave_at_a_former_holder_ends_no_server on simulated control and entry VMs.

Change: Endings knows the other control VMs and when each last told all that it knows (Follower.is_told_all_by: the last page, no gap, not overtaken). A lifetime ends by a leave call or a taken address only if all of them did so since the server was quiet, and lately. Whoever has its reports tells of it then, as a change of holder is a change of the record.

The test of the entry did not say that c1 knows of another control VM; without, c1 is the only one and may end the lifetime, as test_a_server_that_drained_and_left_is_over_once_it_is_quiet asks. It now tells c1 of c2, has three times of the call instead of one, and looks for 60 s instead of 0.5 s. EndingsMachine tells its two VMs of each other likewise; its invariant is as before.

While a control VM is not heard nothing ends: the server is late after 4.5 s, and the probe decides. By reading only: with an address that is used again the probe is accepted, so that callers of the former server wait out their time budget meanwhile.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -191,6 +191,7 @@
             for vm, poll in self.follower.polls(now):
                 self.out.append(Sent(vm, poll))
             self.agreed.set_peers(tuple(sorted(self.follower.sources)))
+            self.leases.set_others(self.follower.sources)
         for vm, answer in self.publisher.push_documents(now):
             self.out.append(Sent(vm, answer))
         if self._is_due("expiry", EXPIRY_S, now) and self.leases.expire(now):
@@ -229,6 +230,8 @@
         merged = [self._merge(record, now) for record in message.records]
         if any(merged):
             self._push(now)
+        if self.follower.is_told_all_by(message):
+            self.leases.hear_all_of(message.sender, now)
         if self.follower.has_more(message):
             poll = self.follower.poll_of(message.sender, now)
             self.out.append(Sent(message.sender, poll))
--- a/libs/lab/tests/test_registrar_faults.py
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -233,6 +233,22 @@
     assert {one.report.phase for one in entry_records(world)} == {Phase.ENDED}
 
 
+# Guards against a leave call of an earlier lifetime that ends one which drains, at the
+# control VM that it reported to before it moved on, cut off from all others.
+def test_a_late_leave_at_a_former_holder_ends_no_server(world):
+    others = [vm for vm in world.nodes if vm not in ("c-a", "e-a")]
+    say(world, Phase.DRAINING, 1)
+    world.run_until(world.now + 0.5)
+    pairs = {(one, other) for one in ("c-a", "e-a") for other in others}
+    world.cuts |= pairs | {(other, one) for one, other in pairs}
+    for number in range(2, 8):
+        asked(world, "c-b", report_call(number, Phase.DRAINING), within_s=1.2)
+        if number == 3:
+            asked(world, "c-a", LeaveCall("i-1"), within_s=0.0006)
+        phases = {one.report.phase for one in entry_records(world)}
+        assert phases == {Phase.DRAINING}
+
+
 def late_after_a_long_cut(world):
     """Return the entry VMs that hold a live server late after a cut has healed."""
     inside = [one.vm for one in world.nodes.values() if one.zone == "a"]
--- a/libs/registry/src/kumquatmux_registry/endings.py
+++ b/libs/registry/src/kumquatmux_registry/endings.py
@@ -4,12 +4,14 @@
 the table. All other evidence may be late, or concern another lifetime: a leave call
 names no lifetime, and a report at the same address may have been delayed. Such evidence
 ends a lifetime only if the VM that the server reports to has had no report of it for a
-while. A server that still reports refutes it.
+while, and has heard since from all others that none of them had one. A server that
+still reports refutes it.
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from kumquatmux_core.identity import VmId
@@ -44,6 +46,8 @@
             in seconds of the monotonic clock.
         left_lifetimes: Lifetime of each server for which a leave call came since its
             latest report.
+        told_at: Time at which each other control VM last told all that it knows, in
+            seconds of the monotonic clock, ``-math.inf`` for never.
         listening: Silence that this VM may judge servers by; told of each look at the
             leases.
     """
@@ -56,8 +60,18 @@
         self.table = table
         self.last_report_at: dict[str, float] = {}
         self.left_lifetimes: dict[str, Lifetime] = {}
+        self.told_at: dict[VmId, float] = {}
         self.listening = Listening(settings.paused_after_s)
 
+    def set_others(self, others: Iterable[VmId]) -> None:
+        """Set the other control VMs, to each of which a server may report."""
+        self.told_at = {vm: self.told_at.get(vm, -math.inf) for vm in others}
+
+    def record_told(self, vm: VmId, now: float) -> None:
+        """Record that another control VM told all that it knows of servers."""
+        if vm in self.told_at:
+            self.told_at[vm] = now
+
     def record_report(self, name: str, now: float) -> None:
         """Record that a server reported, which refutes a leave call before."""
         self.last_report_at[name] = now
@@ -98,7 +112,8 @@
         if record.holder != self.own_vm or not self.evidence(record):
             return False
         reported_at = self.last_report_at.get(record.report.lifetime.name, -math.inf)
-        return self.listening.silent_s(reported_at, now) > self.settings.quiet_s
+        is_quiet = self.listening.silent_s(reported_at, now) > self.settings.quiet_s
+        return is_quiet and self._is_still_holder(reported_at, now)
 
     def forget_unknown(self) -> None:
         """Drop what is kept of servers that are not known any more."""
@@ -109,6 +124,15 @@
             if record is None or record.report.lifetime != lifetime:
                 del self.left_lifetimes[name]
 
+    def _is_still_holder(self, reported_at: float, now: float) -> bool:
+        """Return whether a quiet server reports to no other control VM either.
+
+        One that is not heard may have its reports.
+        """
+        quiet_since = max(reported_at, self.listening.since) + self.settings.quiet_s
+        oldest_allowed = max(quiet_since, now - self.settings.quiet_s)
+        return all(told_at >= oldest_allowed for told_at in self.told_at.values())
+
     def _has_not_reported_since(
         self, record: ServerRecord, claimant: TableEntry
     ) -> bool:
--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -249,6 +249,14 @@
         """
         return answer.position - answer.since >= self.settings.page_size
 
+    def is_told_all_by(self, answer: FeedAnswer) -> bool:
+        """Return whether this VM now has all that a control VM knew as it answered.
+
+        Not so if an answer before was lost, more pages follow, or this one came late.
+        """
+        known_position = self._state_of(answer.sender).position
+        return known_position == answer.position and not self.has_more(answer)
+
     def poll_after(self, answer: FeedAnswer, now: float) -> FeedPoll | None:
         """Return the extra poll to send at once after an answer, or None.
 
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from expression import Error, Ok, Result
 
 from kumquatmux_core.decisions import log as log_decision
@@ -114,6 +116,14 @@
         """Record that a message from another control VM arrived."""
         self.last_holder_message_at[holder] = now
 
+    def hear_all_of(self, other: VmId, now: float) -> None:
+        """Record that another control VM told all that it knows of servers."""
+        self.endings.record_told(other, now)
+
+    def set_others(self, others: Iterable[VmId]) -> None:
+        """Set the other control VMs, to each of which a server may report."""
+        self.endings.set_others(others)
+
     def expire(self, now: float) -> bool:
         """Judge servers that stopped reporting; return whether any record changed.
 
--- a/libs/registry/tests/test_endings.py
+++ b/libs/registry/tests/test_endings.py
@@ -151,15 +151,82 @@
 
 # Guards against a leave call of an earlier lifetime that ends one which drains, at the
 # control VM that it reported to before: the two VMs are cut off from each other.
-@pytest.mark.xfail(strict=True, reason="leave-at-a-former-holder in KNOWN-RED.txt")
-def test_a_late_leave_ends_no_server_that_reports_to_another_vm(leases):
+@pytest.mark.parametrize("left_at", [0.5, 2.5, 20.0])
+def test_a_late_leave_ends_no_server_that_reports_to_another_vm(leases, left_at):
+    leases.set_others(["c2"])
+    leases.hear_all_of("c2", 0.0)
     leases.report(make_report(1, phase=Phase.DRAINING), 0.0)
-    look_until(leases, 0.0, 2.5)
-    leases.leave("i-1", 2.5)
-    look_until(leases, 2.75, 3.0)
+    look_until(leases, 0.0, left_at)
+    leases.leave("i-1", left_at)
+    look_until(leases, left_at + 0.25, 60.0)
     assert phase_of(leases) == Phase.DRAINING
 
 
+# Guards against the same where this VM hears the other until the server moves there.
+@pytest.mark.parametrize("heard_until", [0.0, 1.0, 2.0])
+def test_what_another_vm_told_before_a_server_was_quiet_does_not_count(
+    leases, heard_until
+):
+    leases.set_others(["c2", "c3"])
+    leases.report(make_report(1, phase=Phase.DRAINING), 0.0)
+    leases.leave("i-1", 0.25)
+    for step in range(120):
+        now = step * LOOK_S
+        leases.hear_all_of("c3", now)
+        if now <= heard_until:
+            leases.hear_all_of("c2", now)
+        leases.expire(now)
+    assert phase_of(leases) == Phase.DRAINING
+
+
+# Guards against a leave that comes long after this VM was cut off from the other one.
+def test_what_another_vm_told_long_ago_does_not_count(leases):
+    leases.set_others(["c2"])
+    leases.report(make_report(1, phase=Phase.DRAINING), 0.0)
+    look_until(leases, 0.0, 4.0)
+    leases.hear_all_of("c2", 4.0)
+    look_until(leases, 4.25, 20.0)
+    leases.leave("i-1", 20.0)
+    look_until(leases, 20.25, 60.0)
+    assert phase_of(leases) == Phase.DRAINING
+
+
+# Guards against ended servers that are never told ended once a cut has healed.
+def test_a_server_that_left_is_over_once_the_others_are_heard(leases):
+    leases.set_others(["c2", "c3"])
+    leases.report(make_report(1, phase=Phase.DRAINING), 0.0)
+    leases.leave("i-1", 0.25)
+    look_until(leases, 0.25, 10.0)
+    leases.hear_all_of("c2", 10.1)
+    leases.expire(10.25)
+    assert phase_of(leases) == Phase.DRAINING
+    leases.hear_all_of("c3", 10.3)
+    leases.expire(10.5)
+    assert phase_of(leases) == Phase.ENDED
+
+
+# Guards against a control VM that is taken out of service and holds up ends for good.
+def test_a_vm_that_is_not_known_any_more_holds_up_no_end(leases):
+    leases.set_others(["c2"])
+    leases.report(make_report(1, phase=Phase.DRAINING), 0.0)
+    leases.leave("i-1", 0.25)
+    look_until(leases, 0.25, 10.0)
+    leases.set_others([])
+    leases.hear_all_of("c2", 10.0)
+    leases.expire(10.25)
+    assert phase_of(leases) == Phase.ENDED
+
+
+# Guards against the same where the evidence is another server at the address.
+def test_a_taken_address_ends_no_server_that_may_report_to_another_vm(leases):
+    leases.set_others(["c2"])
+    leases.hear_all_of("c2", 0.0)
+    leases.report(at_one_endpoint("i-1", 5), 0.0)
+    leases.report(at_one_endpoint("i-2", 9), 0.5)
+    look_until(leases, 0.75, 4.0)
+    assert phase_of(leases) == Phase.READY
+
+
 class Server:
     """A backend server that reports to one control VM, and its earlier reports."""
 
@@ -180,6 +247,8 @@
     def __init__(self):
         super().__init__()
         self.vms = {vm: Leases(SETTINGS, vm) for vm in ("c1", "c2")}
+        self.vms["c1"].set_others(["c2"])
+        self.vms["c2"].set_others(["c1"])
         self.positions = dict.fromkeys(self.vms, 0)
         self.looks = 0
         self.is_cut = False
@@ -219,6 +288,7 @@
                     other.hear_holder(vm, self.now)
                     for entry in entries:
                         other.merge(entry.record, self.now)
+                    other.hear_all_of(vm, self.now)
 
     @rule(
         name=st.sampled_from(["i-1", "i-2", "i-3"]),
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -449,3 +449,24 @@
     note_looks(mine, 80.25, 80.25)
     mine.polls(80.25)
     assert set(mine.sources) == {"c1"}
+
+
+# Guards against a VM that takes itself for informed while a change is lost or to come.
+def test_only_the_last_page_without_a_gap_tells_all():
+    source = make_publisher(page=2)
+    for number in range(3):
+        source.leases.report(make_report(f"i-{number}"), 0.0)
+    mine = make_follower()
+    first = poll_publisher(mine, source, 1.0)[0]
+    assert not mine.is_told_all_by(first)
+    second = poll_publisher(mine, source, 1.5)[0]
+    assert mine.is_told_all_by(second)
+    assert not mine.is_told_all_by(first)
+    source.leases.report(make_report("i-8"), 1.6)
+    assert source.push(1.6)
+    source.leases.report(make_report("i-9"), 1.7)
+    pushed = source.push(1.7)[0][1]
+    mine.take(pushed, 1.7)
+    assert not mine.is_told_all_by(pushed)
+    poll_publisher(mine, source, 2.0)
+    assert mine.is_told_all_by(poll_publisher(mine, source, 2.5)[0])
