Let a holder's own suspicion stand when others tell it back

Callers got new flows at servers that had said that they leave, and at servers whose address another one had taken, as these were "late" for a few milliseconds only. Control VMs also told each other of such a server four times a second until its lifetime was over.

Cause: a control VM tells all changes on, also to the one that they came from. The holder took its own word, told back by another VM, for that VM's suspicion, and refuted it, as the server had reported lately. With a taken address its next look at the leases said it anew.

Evidence: three tests of two control VMs that tell each other all changes fail before: one side reached change 14 instead of 6 within 0.75 s, and a server that left, or reported from a taken address, was not late any more at the first look. Tests of one control VM alone had shown the wanted state.

Change: the holder refutes a suspicion only if it did not say so itself. A report still undoes it, and a suspicion of others is still refuted (test_without_refutation_a_server_stays_late_after_a_long_cut).

--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -94,8 +94,9 @@
     def merge(self, record: ServerRecord, now: float) -> bool:
         """Merge a record from another control VM; return whether to push an update.
 
-        A suspicion about a server that reports to this VM is refuted. A record out of
-        bounds is left out, as it could not be told on.
+        A suspicion about a server that reports to this VM is refuted, unless it is this
+        VM's own, which others tell back to it. A record out of bounds is left out, as
+        it could not be told on.
         """
         problem = problem_of(record)
         if problem:
@@ -106,8 +107,9 @@
         if is_refused or not is_known and not self._admits(record):
             self.has_left_out = True
             return False
+        is_suspected = record.is_late and not self._suspects(record)
         changed = self.table.merge(record, now)
-        if record.is_late and self._can_refute(record, now):
+        if is_suspected and self._can_refute(record, now):
             self.table.republish(record.report.lifetime.name, now)
             return True
         return changed
@@ -260,6 +262,13 @@
             if heard_at < oldest_allowed:
                 del self.last_holder_message_at[holder]
 
+    def _suspects(self, record: ServerRecord) -> bool:
+        """Return whether this VM said itself that a server is late."""
+        existing = self.table.get(record.report.lifetime.name)
+        if existing is None or existing.holder != self.own_vm:
+            return False
+        return existing.is_late
+
     def _can_refute(self, suspected: ServerRecord, now: float) -> bool:
         """Return whether a suspected server's reports to this VM have not stopped.
 
--- a/libs/registry/tests/test_endings.py
+++ b/libs/registry/tests/test_endings.py
@@ -227,6 +227,79 @@
     assert phase_of(leases) == Phase.READY
 
 
+class Pair:
+    """Two control VMs that tell each other all changes."""
+
+    def __init__(self):
+        self.vms = {vm: Leases(SETTINGS, vm) for vm in ("c1", "c2")}
+        self.positions = dict.fromkeys(self.vms, 0)
+        self.vms["c1"].set_others(["c2"])
+        self.vms["c2"].set_others(["c1"])
+
+    def look_until(self, start, end):
+        """Look at the leases and exchange changes; return who was late at any time."""
+        late = set()
+        for step in range(round((end - start) / LOOK_S) + 1):
+            for leases in self.vms.values():
+                leases.expire(start + step * LOOK_S)
+            self.exchange(start + step * LOOK_S)
+            late |= {name for name in self.known() if self.is_late(name)}
+        return late
+
+    def exchange(self, now):
+        for vm, leases in self.vms.items():
+            entries = leases.table.entries_after(self.positions[vm], 1000)
+            self.positions[vm] = leases.table.position
+            for other_vm, other in self.vms.items():
+                if other_vm != vm:
+                    other.hear_holder(vm, now)
+                    for entry in entries:
+                        other.merge(entry.record, now)
+                    other.hear_all_of(vm, now)
+
+    def known(self):
+        return self.vms["c1"].table.held
+
+    def is_late(self, name):
+        return any(one.table.get(name).is_late for one in self.vms.values())
+
+
+@pytest.fixture
+def pair():
+    return Pair()
+
+
+# Guards against two VMs that undo each other's word on a suspect server for ever, as
+# the holder takes its own word, told back to it, for another's.
+def test_a_suspect_server_stays_late_while_its_address_is_taken(pair):
+    holder = pair.vms["c1"]
+    holder.report(at_one_endpoint("i-1", 5), 0.0)
+    pair.look_until(0.0, 0.75)
+    holder.report(at_one_endpoint("i-2", 9), 1.0)
+    pair.look_until(1.0, 1.25)
+    told = [one.table.position for one in pair.vms.values()]
+    pair.look_until(1.5, 2.25)
+    assert holder.table.get("i-1").is_late
+    assert [one.table.position for one in pair.vms.values()] == told
+
+
+# Guards against new flows to a server that left, or that reports from a taken address,
+# as other VMs tell its holder the word that came from it.
+@pytest.mark.parametrize("reason", ["leave", "taken"])
+def test_the_word_of_a_holder_that_is_told_back_to_it_counts(pair, reason):
+    holder = pair.vms["c1"]
+    if reason == "taken":
+        holder.report(at_one_endpoint("i-2", 9), 0.0)
+    holder.report(at_one_endpoint("i-1", 5), 0.1)
+    pair.look_until(0.25, 1.0)
+    if reason == "leave":
+        holder.leave("i-1", 1.1)
+    assert holder.table.get("i-1").is_late
+    for step in range(4):
+        assert pair.look_until(1.25 + step * LOOK_S, 1.25 + step * LOOK_S) == {"i-1"}
+        assert pair.vms["c2"].table.get("i-1").is_late
+
+
 class Server:
     """A backend server that reports to one control VM, and its earlier reports."""
 
--- a/libs/registry/tests/test_leases.py
+++ b/libs/registry/tests/test_leases.py
@@ -121,6 +121,13 @@
     assert leases.merge(doubted, 6.0) is False
 
 
+# Guards against a word that a former holder takes back for the one that hears reports.
+def test_suspicion_of_a_server_that_moved_is_not_refuted(leases):
+    leases.report(make_report(1), 0.0)
+    leases.merge(ServerRecord(make_report(2), "c2", doubts=1), 1.0)
+    assert leases.table.get("i-1").is_late
+
+
 OUT_OF_BOUNDS = {
     "long service": make_report(service="x" * 900_000),
     "service of 3 bytes a character": make_report(service="\u0e01" * 100),
