Believe a server whose address is taken once it reports on time

Callers got new flows at a server that was gone: its last report, held up behind a cut, came 3 s after a server with another id had its address and reported.

Cause: any report with a higher number made a late or ended server ready at once, however old the report was.

Change: a server that was late or ended, and at whose address another one is in use, stays late until it has reported without a break for one and a half report periods. A held-up report comes alone. No clock of a server is asked. An address is claimed by a server in use before one that is late or ended, so that the claim shows the one that lives.

A server that lives is not silenced: it is ready with its third report in a row, also if the other one reports for ever (test_a_server_that_reports_again_is_believed_soon, 12 cases), it is never ended, and one that was not late is not touched. Cost: a server that was late and at whose address a late report of another one counts stays last resort for two periods more.

Left: a report that comes in the 0.25 s between the other's first one and the next look at the leases counts, and so do held-up reports that happen to come one after the other on time.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -81,6 +81,9 @@
 QUIET_REPORTS = 2.0
 """Reports a backend server misses before its lifetime is over, if it seems to be."""
 
+STEADY_REPORTS = 1.5
+"""Report periods after which reports on time show that a backend server lives."""
+
 MOVE_ON_S = 1.5
 """Seconds in which a backend server whose report failed reports elsewhere."""
 
@@ -142,6 +145,7 @@
             late_after_s=late,
             holder_silent_s=late + MOVE_ON_S,
             quiet_s=settings.report_period_s * QUIET_REPORTS,
+            steady_s=settings.report_period_s * STEADY_REPORTS,
         )
         self.leases = Leases(registry, settings.vm)
         self.publisher = Publisher(
--- a/libs/registry/src/kumquatmux_registry/endings.py
+++ b/libs/registry/src/kumquatmux_registry/endings.py
@@ -44,6 +44,8 @@
         table: Records of all servers.
         last_report_at: Time of the latest report received here from each server name,
             in seconds of the monotonic clock.
+        steady_since: Time since which each server name has reported here without a
+            break, in seconds of the monotonic clock.
         left_lifetimes: Lifetime of each server for which a leave call came since its
             latest report.
         told_at: Time at which each other control VM last told all that it knows, in
@@ -59,6 +61,7 @@
         self.own_vm = own_vm
         self.table = table
         self.last_report_at: dict[str, float] = {}
+        self.steady_since: dict[str, float] = {}
         self.left_lifetimes: dict[str, Lifetime] = {}
         self.told_at: dict[VmId, float] = {}
         self.listening = Listening(settings.paused_after_s)
@@ -74,6 +77,9 @@
 
     def record_report(self, name: str, now: float) -> None:
         """Record that a server reported, which refutes a leave call before."""
+        previous_at = self.last_report_at.get(name, -math.inf)
+        if now > previous_at + self.settings.quiet_s:
+            self.steady_since[name] = now
         self.last_report_at[name] = now
         self.left_lifetimes.pop(name, None)
 
@@ -107,6 +113,18 @@
         claimant = self.table.later_at_endpoint(record)
         return claimant is not None and self._has_not_reported_since(record, claimant)
 
+    def is_doubtful(self, record: ServerRecord, now: float) -> bool:
+        """Return whether a report of a server that was not in use may be a late one.
+
+        It may while another server reports on time at its address, until it does so
+        itself. The clocks of the two say nothing of which of them lives.
+        """
+        claimant = self.table.other_at_endpoint(record)
+        if claimant is None or claimant.record.is_unused:
+            return False
+        steady_since = self.steady_since.get(record.report.lifetime.name, now)
+        return now - steady_since < self.settings.steady_s
+
     def is_over(self, record: ServerRecord, now: float) -> bool:
         """Return whether a lifetime is over, as only the server's holder can tell."""
         if record.holder != self.own_vm or not self.evidence(record):
@@ -119,6 +137,7 @@
         """Drop what is kept of servers that are not known any more."""
         for name in self.last_report_at.keys() - self.table.held.keys():
             del self.last_report_at[name]
+            del self.steady_since[name]
         for name, lifetime in list(self.left_lifetimes.items()):
             record = self.table.get(name)
             if record is None or record.report.lifetime != lifetime:
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -310,8 +310,11 @@
         name = report.lifetime.name
         existing = self.table.get(name)
         record = ServerRecord(report, self.own_vm)
-        is_first = existing is None or existing.report.lifetime != report.lifetime
-        if is_first and self.table.later_at_endpoint(record) is not None:
+        if existing is None or existing.report.lifetime != report.lifetime:
+            is_suspect = self.table.later_at_endpoint(record) is not None
+        else:
+            is_suspect = existing.is_unused and self.endings.is_doubtful(record, now)
+        if is_suspect:
             record = record.with_suspicion_toggled()
         changed = self.table.merge(record, now)
         if changed:
--- a/libs/registry/src/kumquatmux_registry/settings.py
+++ b/libs/registry/src/kumquatmux_registry/settings.py
@@ -15,6 +15,8 @@
             servers are marked as late too, unless they report to another VM.
         quiet_s: Seconds without a report after which a server's lifetime is over if
             other evidence says so; more than the time between two reports.
+        steady_s: Seconds of reports without a break of ``quiet_s`` after which a server
+            is believed that was not in use, though another reports at its address.
         paused_after_s: Seconds between two looks at the leases after which this VM is
             taken to have stood still.
         ended_retention_s: Seconds for which the record of an ended server is kept;
@@ -30,6 +32,7 @@
     late_after_s: float = 4.0
     holder_silent_s: float = 5.0
     quiet_s: float = 2.4
+    steady_s: float = 1.8
     paused_after_s: float = 1.0
     ended_retention_s: float = 120.0
     page_size: int = 64
--- a/libs/registry/src/kumquatmux_registry/table.py
+++ b/libs/registry/src/kumquatmux_registry/table.py
@@ -30,7 +30,8 @@
     Attributes:
         held: Entry with the newest record of each server name, oldest change first.
         name_by_token: Server name of each token.
-        name_by_endpoint: Name of the server with the latest start at each endpoint.
+        name_by_endpoint: Name of the server with the latest start at each endpoint, of
+            those that were in use when they were stored, if any was.
         count_by_service: Number of servers of each service.
         position: Sequence number of the latest change.
         named_services: Services that the settings document names; empty while there
@@ -86,15 +87,19 @@
 
     def later_at_endpoint(self, record: ServerRecord) -> TableEntry | None:
         """Return the server with a later start at a record's endpoint, if any."""
-        name = self.name_by_endpoint.get(record.report.endpoint)
-        if name is None or name == record.report.lifetime.name:
-            return None
-        other = self.held[name]
-        if other.record.report.phase == Phase.ENDED:
+        other = self.other_at_endpoint(record)
+        if other is None or other.record.report.phase == Phase.ENDED:
             return None
         is_later = self._start_rank(other.record) > self._start_rank(record)
         return other if is_later else None
 
+    def other_at_endpoint(self, record: ServerRecord) -> TableEntry | None:
+        """Return the server that claims a record's endpoint, if it is another one."""
+        name = self.name_by_endpoint.get(record.report.endpoint)
+        if name is None or name == record.report.lifetime.name:
+            return None
+        return self.held[name]
+
     def republish(self, name: str, now: float) -> None:
         """Store a record again as a new change, refuting any suspicion."""
         record = self.held[name].record
@@ -181,9 +186,13 @@
         return record.sort_key > existing.sort_key
 
     def _claim_endpoint(self, record: ServerRecord) -> None:
-        if self.later_at_endpoint(record) is None:
+        other = self.other_at_endpoint(record)
+        if other is None or self._claim_rank(record) >= self._claim_rank(other.record):
             self.name_by_endpoint[record.report.endpoint] = record.report.lifetime.name
 
+    def _claim_rank(self, record: ServerRecord) -> tuple[bool, bool, int]:
+        return (not record.is_unused, *self._start_rank(record))
+
     def _start_rank(self, record: ServerRecord) -> tuple[bool, int]:
         report = record.report
         return (self.is_named(report.service), report.lifetime.born_ms)
--- a/libs/registry/tests/test_endings.py
+++ b/libs/registry/tests/test_endings.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import pytest
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -300,6 +302,68 @@
         assert pair.vms["c2"].table.get("i-1").is_late
 
 
+class Reuse(NamedTuple):
+    """A server i-1 that ends at 0 s, and i-2 that has its address some time later."""
+
+    born: int
+    starts_at: float
+    held_up_at: float
+
+
+REUSES = [
+    Reuse(9, 3.0, 5.0),
+    Reuse(9, 3.0, 6.0),
+    Reuse(9, 3.0, 9.0),
+    Reuse(9, 6.0, 9.0),
+    Reuse(3, 6.0, 8.0),
+    Reuse(3, 6.0, 9.0),
+    Reuse(3, 6.0, 12.0),
+]
+
+
+# Guards against new flows to a server that is gone, as its last report was held up
+# until another one had its address. Clocks differ, so that either may be born later.
+@pytest.mark.parametrize("reuse", REUSES, ids=str)
+@pytest.mark.parametrize("vm", ["c1", "c2"])
+def test_a_report_held_up_until_another_has_the_address_brings_no_flows(
+    pair, reuse, vm
+):
+    pair.vms[vm].report(at_one_endpoint("i-1", 5, 1), 0.0)
+    pair.look_until(0.0, reuse.starts_at - LOOK_S)
+    for step in range(60):
+        now = reuse.starts_at + step * LOOK_S
+        if step % REPORT_LOOKS == 0:
+            number = 1 + step // REPORT_LOOKS
+            pair.vms["c1"].report(at_one_endpoint("i-2", reuse.born, number), now)
+        if now == reuse.held_up_at:
+            pair.vms[vm].report(at_one_endpoint("i-1", 5, 2), now)
+        pair.look_until(now, now)
+        if now >= reuse.held_up_at:
+            assert all(one.table.get("i-1").is_unused for one in pair.vms.values())
+            assert not pair.is_late("i-2")
+    assert phase_of(pair.vms["c1"], "i-2") == Phase.READY
+
+
+# Guards against a server that lives and is silenced by others' reports at its address.
+@pytest.mark.parametrize("born", [9, 3])
+@pytest.mark.parametrize("ghost_reports", [1, 2, 100])
+@pytest.mark.parametrize("vm", ["c1", "c2"])
+def test_a_server_that_reports_again_is_believed_soon(pair, born, ghost_reports, vm):
+    pair.vms["c1"].report(at_one_endpoint("i-1", 5, 1), 0.0)
+    pair.look_until(0.0, 6.75)
+    assert pair.is_late("i-1")
+    for number in range(1, 9):
+        now = 7.0 + number * 1.25
+        if number <= ghost_reports:
+            pair.vms["c1"].report(at_one_endpoint("i-2", born, number), now - 0.1)
+        pair.vms[vm].report(at_one_endpoint("i-1", 5, 1 + number), now)
+        pair.exchange(now)
+        if number >= 3:
+            assert not pair.is_late("i-1")
+        pair.look_until(now + 0.25, now + 1.0)
+        assert all(phase_of(one) == Phase.READY for one in pair.vms.values())
+
+
 class Server:
     """A backend server that reports to one control VM, and its earlier reports."""
 
