Let the holder refute an end, or another holder, told of its server

Callers would see the flows of a draining server reset though it reports on time, for as long as it lives: one control VM calls it ended, and nobody takes that back.

Cause: renewals of a lease are not told to other control VMs. A report that was held up by a cut has a higher number than the newest one that was told, so the VM that it reaches takes it for the newest and itself for the holder. A leave call there, and the end of the cut, and it ends the lifetime as soon as it hears that nobody has news. The real holder has a newer report, so that it ignored the older record, and told nothing.

In test_a_held_up_report_moves_no_server_that_reports the wrong holder stays before (6 of 6), and in test_an_end_told_by_another_vm_is_refuted_by_the_holder the end.

Change: what was done for suspicions is done for all that contradicts the reports of a server: its holder tells its newest record again. Not if the holder itself called it late or ended.

Cost: one more change of a record where VMs disagree; none while they agree (the test asks so). By reading only: a control VM that was down for long tells old holders when it comes back, and each server that moved meanwhile is told again once.

--- a/libs/lab/tests/test_registrar_faults.py
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -249,6 +249,43 @@
         assert phases == {Phase.DRAINING}
 
 
+def world_of_vms_that_poll_in_turn(seed):
+    """Return a world whose VMs started at different times."""
+    made = World(Random(seed), SEEDS)
+    for vm in SEEDS:
+        made.run_until(made.now + Random(seed * 7 + len(made.nodes)).random() * 0.5)
+        zone = ZoneName(vm[-1])
+        made.add(Control(vm, zone), founds=True)
+        made.add(Entry(VmId(f"e-{zone}"), zone))
+    made.run_until(4.0 + seed * 0.037)
+    return made
+
+
+# Guards against a lifetime that a VM ends as a cut heals, on a report that was held up,
+# and that its holder leaves ended: entry VMs reset flows 1.0 s after an end.
+@pytest.mark.parametrize("seed", [1, 6, 19, 20])
+def test_an_end_by_a_held_up_report_does_not_last(seed):
+    world = world_of_vms_that_poll_in_turn(seed)
+    others = [vm for vm in world.nodes if vm not in ("c-a", "e-a")]
+    pairs = {(one, other) for one in ("c-a", "e-a") for other in others}
+    pairs |= {(other, one) for one, other in pairs}
+    ended_looks = 0
+    for number in range(1, 16):
+        asked(world, "c-b", report_call(number, Phase.DRAINING), within_s=0.0006)
+        if number == 4:
+            world.cuts |= pairs
+            asked(world, "c-a", report_call(3, Phase.DRAINING), within_s=0.0006)
+            asked(world, "c-a", LeaveCall("i-1"), within_s=0.0006)
+        if number == 10:
+            world.cuts -= pairs
+        for _ in range(20):
+            world.run_until(world.now + 0.05)
+            phases = {one.report.phase for one in entry_records(world)}
+            ended_looks = ended_looks + 1 if Phase.ENDED in phases else 0
+            assert ended_looks * 0.05 < 0.5
+    assert {one.holder for one in entry_records(world)} == {"c-b"}
+
+
 def late_after_a_long_cut(world):
     """Return the entry VMs that hold a live server late after a cut has healed."""
     inside = [one.vm for one in world.nodes.values() if one.zone == "a"]
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -94,8 +94,9 @@
     def merge(self, record: ServerRecord, now: float) -> bool:
         """Merge a record from another control VM; return whether to push an update.
 
-        A suspicion about a server that reports to this VM is refuted, unless it is this
-        VM's own, which others tell back to it. A record out of bounds is left out, as
+        What contradicts the reports of a server to this VM is refuted: a suspicion, an
+        end, or another holder. It is not if this VM said itself that the server is late
+        or ended, which others tell back to it. A record out of bounds is left out, as
         it could not be told on.
         """
         problem = problem_of(record)
@@ -107,9 +108,9 @@
         if is_refused or not is_known and not self._admits(record):
             self.has_left_out = True
             return False
-        is_suspected = record.is_late and not self._suspects(record)
+        is_contradiction = self._contradicts(record)
         changed = self.table.merge(record, now)
-        if is_suspected and self._can_refute(record, now):
+        if is_contradiction and self._can_refute(record, now):
             self.table.republish(record.report.lifetime.name, now)
             return True
         return changed
@@ -262,21 +263,25 @@
             if heard_at < oldest_allowed:
                 del self.last_holder_message_at[holder]
 
-    def _suspects(self, record: ServerRecord) -> bool:
-        """Return whether this VM said itself that a server is late."""
+    def _contradicts(self, record: ServerRecord) -> bool:
+        """Return whether a record is against what this VM says of a server it holds.
+
+        Renewals are not told, so that another VM may take a report that was held up for
+        the newest one, and itself for the holder.
+        """
         existing = self.table.get(record.report.lifetime.name)
-        if existing is None or existing.holder != self.own_vm:
+        if existing is None or existing.holder != self.own_vm or existing.is_unused:
             return False
-        return existing.is_late
+        return record.is_unused or record.holder != self.own_vm
 
-    def _can_refute(self, suspected: ServerRecord, now: float) -> bool:
-        """Return whether a suspected server's reports to this VM have not stopped.
+    def _can_refute(self, told: ServerRecord, now: float) -> bool:
+        """Return whether the reports of a server to this VM have not stopped.
 
         After a pause of this VM its reports may wait to be read.
         """
-        name = suspected.report.lifetime.name
+        name = told.report.lifetime.name
         existing = self.table.get(name)
-        if existing is None or existing.report.lifetime != suspected.report.lifetime:
+        if existing is None or existing.report.lifetime != told.report.lifetime:
             return False
         heard_at = self.endings.last_report_at.get(name)
         if existing.holder != self.own_vm or heard_at is None:
--- a/libs/registry/tests/test_endings.py
+++ b/libs/registry/tests/test_endings.py
@@ -11,6 +11,7 @@
 from kumquatmux_registry.leases import Leases
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_registry.settings import RegistrySettings
+from kumquatmux_registry.table import mark_ended
 
 SETTINGS = RegistrySettings(late_after_s=4.0, holder_silent_s=5.0)
 LOOK_S = 0.25
@@ -364,6 +365,44 @@
         assert all(phase_of(one) == Phase.READY for one in pair.vms.values())
 
 
+def draining(number):
+    return make_report(number, phase=Phase.DRAINING)
+
+
+# Guards against a held-up report that makes another VM the holder, as renewals are not
+# told, and a leave call there that ends a server which reports to its real holder.
+@pytest.mark.parametrize("held_up", [2, 3, 4])
+@pytest.mark.parametrize("leave_vm", ["c1", "c2"])
+def test_a_held_up_report_moves_no_server_that_reports(pair, held_up, leave_vm):
+    for number in range(1, 12):
+        now = number * 1.25
+        pair.vms["c2"].report(draining(number), now)
+        if number == 5:
+            pair.exchange(now)
+            pair.vms["c1"].report(draining(held_up), now + 0.1)
+        if number == 6:
+            for leases in (pair.vms[leave_vm], *pair.vms.values()):
+                leases.leave("i-1", now + 0.1)
+        pair.look_until(now + 0.25, now + 1.0)
+        assert all(phase_of(one) == Phase.DRAINING for one in pair.vms.values())
+        assert all(one.table.get("i-1").holder == "c2" for one in pair.vms.values())
+
+
+# Guards against an end, told by a VM that was cut off, that the holder leaves standing.
+def test_an_end_told_by_another_vm_is_refuted_by_the_holder(pair):
+    holder = pair.vms["c2"]
+    for number in range(1, 4):
+        holder.report(draining(number), number * 1.25)
+        pair.look_until(number * 1.25, number * 1.25 + 1.0)
+    ended = mark_ended(ServerRecord(draining(2), "c1"))
+    pair.vms["c1"].merge(ended, 4.8)
+    pair.look_until(4.85, 5.1)
+    assert [phase_of(one) for one in pair.vms.values()] == [Phase.DRAINING] * 2
+    told = [one.table.position for one in pair.vms.values()]
+    pair.look_until(5.35, 5.85)
+    assert [one.table.position for one in pair.vms.values()] == told
+
+
 class Server:
     """A backend server that reports to one control VM, and its earlier reports."""
 
