Keep a flow where an answer was seen, and take out what passes

Cause: such a VM knew the flow by its packets only and followed any token of a server that runs. Change: one answer under the flow's token goes before another token's first packet.

--- a/libs/daemons/tests/test_flow_world.py
+++ b/libs/daemons/tests/test_flow_world.py
@@ -165,19 +165,18 @@
 
 
 RED_SEEDS = [
-    pytest.param(seed, marks=red("drawn-flow-worlds")) for seed in (12, 23, 24, 26, 27)
+    pytest.param(seed, marks=red("drawn-flow-worlds")) for seed in (23, 26, 27)
 ]
 
 
 # Guards against any way in which a few disturbances break an open flow.
-@pytest.mark.parametrize("seed", [1, 2, 4, *RED_SEEDS])
+@pytest.mark.parametrize("seed", [1, 2, 4, 12, 24, *RED_SEEDS])
 def test_no_flow_is_broken_in_a_drawn_run(start, seed):
     assert play(start, seed) == []
 
 
 # Guards against a reset of a flow that opened at a server that had started again under
 # its id, before that start was known: the flow's token is that of the former lifetime.
-@red("flow-of-a-server-started-again")
 def test_a_flow_of_a_server_that_started_again_is_kept(start):
     world = start(1, servers=1)
     world.run(2.0)
@@ -217,7 +216,6 @@
 
 # Guards against a reset for a late token of a server that ended by plan, by a VM that
 # the rotation leads the flow to and that never saw it.
-@red("late-token-after-a-roll")
 def test_a_flow_is_kept_when_its_caller_carries_the_token_of_an_ended_server(start):
     world = start(1, servers=2)
     flow, _, other = open_at_two(world, 1.2, 9.0, 1.0)
@@ -231,7 +229,6 @@
 
 
 # Guards against the same with a server that crashed, so that it is late, not ended.
-@red("late-token-of-a-silent-server")
 def test_a_flow_is_kept_when_its_caller_carries_the_token_of_a_silent_server(start):
     world = start(1, servers=2)
     flow, _, other = open_at_two(world, 1.2, 9.0, 1.0)
@@ -257,7 +254,6 @@
 
 # Guards against the same at a VM that knows the flow by its packets only: they carried
 # the token of the flow's server until the late answer came.
-@red("late-token-at-a-vm-that-saw-the-flow")
 def test_a_flow_is_kept_at_a_vm_that_saw_it_before_the_late_token(start):
     world = start(1, servers=2)
     flow, holder, other = open_at_two(world, 6.0, 3.0, 4.0, 1.0)
@@ -270,7 +266,6 @@
 
 # Guards against the same at the VM that placed the flow: it takes a token that comes
 # back, while more is acknowledged, for that of the flow's server.
-@red("late-token-that-comes-twice")
 def test_a_flow_is_kept_when_the_late_token_comes_twice(start):
     world = start(1, servers=2)
     world.ack_share = 0.0
@@ -293,7 +288,6 @@
 
 # Guards against a copy of a SYN that waited in a slow VM until the others forgot the
 # flow: placed at a second server, it leaves that one's token with the caller.
-@red("syn-read-after-the-flow-opened")
 def test_a_flow_is_kept_when_a_copy_of_its_syn_is_read_after_it_opened(start):
     world = start(1, servers=2)
     world.run(2.0)
@@ -314,7 +308,6 @@
 
 # Guards against resets of flows of a server that has sent its leave call, got no ack,
 # and serves on for some seconds.
-@red("server-that-left-serves-on")
 def test_a_flow_is_kept_while_a_server_that_has_left_serves_on(start):
     world = start(1, servers=1)
     world.run(2.0)
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -69,6 +69,7 @@
         named_ack_number: Acknowledgment number of the latest of the packets in a row
             that carry that token and acknowledge more than the one before.
         answers_in_a_row: Number of such packets after the first one.
+        own_answers: Most answers in a row under the token of the flow's server.
         latest_copy: Number of the latest SYN transmission that was forwarded here.
         has_missed_copy: Whether an earlier transmission of the SYN did not pass here,
             so that another VM may have sent it to another server.
@@ -92,6 +93,7 @@
         "latest_copy",
         "named_ack_number",
         "named_token",
+        "own_answers",
         "syn_forwarded_at",
         "retransmissions",
         "last_packet_at",
@@ -116,6 +118,7 @@
         self.named_token = 0
         self.named_ack_number = 0
         self.answers_in_a_row = 0
+        self.own_answers = 0
         self.latest_copy = -1
         self.has_missed_copy = False
         self.is_confirmed = False
@@ -248,8 +251,9 @@
         needed_answers = PROVING_ANSWERS if may_be_late else 1
         if header.token != flow.token and answers >= needed_answers:
             self.move_flow(flow, header.token, now)
-        if header.token == flow.token and answers >= PROVING_ANSWERS:
-            flow.is_confirmed = True
+        if header.token == flow.token:
+            flow.own_answers = max(flow.own_answers, answers)
+            flow.is_confirmed |= answers >= PROVING_ANSWERS
 
     def move_flow(self, flow: Flow, token: int, now: float) -> None:
         """Count a flow at another server, which its packets go to from now on."""
@@ -504,6 +508,7 @@
         self._count_open_flow(flow.token, -1)
         flow.token = token
         flow.is_confirmed = False
+        flow.own_answers = 0
         self._count_open_flow(token, 1)
         if has_request:
             self._start_request(flow, now)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -438,8 +438,8 @@
 
         A late answer of another server to a copy of the SYN gives the caller a token
         that is not that of the flow's server. If this VM forwarded the SYN that the
-        caller went on from, it knows better. If it knows the flow by its packets only,
-        it does once the token's server is over.
+        caller went on from, or saw an answer under the flow's token, it knows better.
+        If it saw one packet only, it does once the late token's server is over.
         """
         flow = self.load_tracker.flow_of_packet(header)
         if flow is None:
@@ -450,7 +450,8 @@
         own_entry = self.directory.running_entry(flow.token)
         if own_entry is None or self._is_over(own_entry, now):
             return header.token
-        if flow.token in flow.tried_tokens or flow.is_confirmed:
+        is_shown = flow.is_confirmed or flow.own_answers > 0
+        if flow.token in flow.tried_tokens or is_shown:
             return flow.token
         named_entry = self.directory.running_entry(header.token)
         if named_entry is not None and self._is_over(named_entry, now):
