Count a server's silence from the leave call that it says again

Callers would get resets of a drained server that got no ack for its leave call, says it again and serves on meanwhile (PROTOCOL.md, "If it receives no ack, it exits anyway, some seconds later").

Cause: a leave call that came again changed nothing; the lifetime was over 2.4 s after the latest report.

Evidence: test_a_server_that_says_again_that_it_leaves_is_not_over fails before: calls at 1 to 6 s, ended before the third.

Change: a leave call for a lifetime that has said so already counts as a sign of life, as the server that got its answer exits. One call changes nothing, and a copy that is late delays an end by two report periods at most.

Left: one call whose ack is lost can't be told from one that was acknowledged; only the entry VM can ask the server.

1263 tests pass (libs/registry, libs/daemons, test_registrar_faults, tests/adapter, tests).

--- a/libs/registry/src/kumquatmux_registry/endings.py
+++ b/libs/registry/src/kumquatmux_registry/endings.py
@@ -43,7 +43,7 @@
         own_vm: Name of this control VM.
         table: Records of all servers.
         last_report_at: Time of the latest report received here from each server name,
-            in seconds of the monotonic clock.
+            or of a leave call that it said again, in seconds of the monotonic clock.
         steady_since: Time since which each server name has reported here without a
             break, in seconds of the monotonic clock.
         left_lifetimes: Lifetime of each server for which a leave call came since its
@@ -83,8 +83,14 @@
         self.last_report_at[name] = now
         self.left_lifetimes.pop(name, None)
 
-    def record_leave(self, lifetime: Lifetime) -> None:
-        """Record a leave call for a server that reports to this VM."""
+    def record_leave(self, lifetime: Lifetime, now: float) -> None:
+        """Record a leave call for a server that reports to this VM.
+
+        A server that says it again got no answer and serves on until it gives up, so
+        that its silence counts from then.
+        """
+        if self.left_lifetimes.get(lifetime.name) == lifetime:
+            self.last_report_at[lifetime.name] = now
         self.left_lifetimes[lifetime.name] = lifetime
 
     def evidence(self, record: ServerRecord) -> str:
@@ -137,7 +143,7 @@
         """Drop what is kept of servers that are not known any more."""
         for name in self.last_report_at.keys() - self.table.held.keys():
             del self.last_report_at[name]
-            del self.steady_since[name]
+            self.steady_since.pop(name, None)
         for name, lifetime in list(self.left_lifetimes.items()):
             record = self.table.get(name)
             if record is None or record.report.lifetime != lifetime:
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -86,7 +86,7 @@
         if existing.holder != self.own_vm:
             return False
         log_decision("server-left", server=existing.report.lifetime)
-        self.endings.record_leave(existing.report.lifetime)
+        self.endings.record_leave(existing.report.lifetime, now)
         if existing.is_late:
             return False
         return self.table.merge(existing.with_suspicion_toggled(), now)
--- a/libs/registry/tests/test_endings.py
+++ b/libs/registry/tests/test_endings.py
@@ -403,6 +403,31 @@
     assert [one.table.position for one in pair.vms.values()] == told
 
 
+# Guards against an end of a server that got no ack for its leave call, says it again
+# and serves on meanwhile. A call that comes to another VM is passed on to the holder.
+def test_a_server_that_says_again_that_it_leaves_is_not_over(pair):
+    pair.vms["c1"].report(draining(1), 0.0)
+    pair.look_until(0.0, 0.75)
+    for second in range(1, 7):
+        for leases in pair.vms.values():
+            leases.leave("i-1", float(second))
+        pair.look_until(second + LOOK_S, second + 0.75)
+        assert [phase_of(one) for one in pair.vms.values()] == [Phase.DRAINING] * 2
+    pair.look_until(7.0, 8.75)
+    assert [phase_of(one) for one in pair.vms.values()] == [Phase.ENDED] * 2
+
+
+# Guards against leave calls that a VM which has just started cannot forget.
+def test_a_server_that_says_again_that_it_leaves_need_not_have_reported_here(leases):
+    leases.merge(ServerRecord(draining(1), "c1"), 0.0)
+    leases.leave("i-1", 0.5)
+    leases.leave("i-1", 1.0)
+    look_until(leases, 1.0, 4.0)
+    assert phase_of(leases) == Phase.ENDED
+    look_until(leases, 200.0, 201.0)
+    assert leases.table.held == {}
+
+
 class Server:
     """A backend server that reports to one control VM, and its earlier reports."""
 
