--- a/libs/daemons/tests/test_flows_of_ended_servers.py
+++ b/libs/daemons/tests/test_flows_of_ended_servers.py
@@ -175,6 +175,29 @@
     assert zone.carry_out(lost) + zone.wait(0.2) == [("i-1", first.token)]
 
 
+# Guards against news of a late token: the VM saw neither all copies of the SYN nor an
+# answer, and the flow is open at the server of an earlier copy.
+def test_a_vm_that_missed_copies_tells_no_one_where_a_flow_opened(zone):
+    first, other = server("i-1"), server("i-2")
+    zone.send("e1", syn(), wait_s=0.1)
+    zone.tell(server("i-1", number=2, phase=Phase.DRAINING), other)
+    zone.wait(1.5)
+    assert zone.send("e2", syn(2)) == [("i-2", other.token)]
+    zone.send("e2", data(other))
+    zone.wait(1.0)
+    assert zone.send("e3", data(first)) == [("i-1", first.token)]
+
+
+# Guards against a reset for the end of a server that serves on and was never asked, by
+# way of another server's late token.
+def test_a_flow_found_at_a_server_that_left_goes_there(zone):
+    first, other = place_twice(zone)
+    zone.tell(mark_ended(other), mark_ended(first))
+    zone.wait(2.0)
+    zone.cores["e3"].router.directory.mark_gone(other.token)
+    assert zone.send("e3", data(other, 600)) == [("i-1", first.token)]
+
+
 def test_a_flow_is_reset_if_a_vm_saw_it_open_at_the_server_that_ended(zone):
     record = server("i-1")
     zone.open_flow(record)
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -74,6 +74,8 @@
         latest_copy: Number of the latest SYN transmission that was forwarded here.
         has_missed_copy: Whether an earlier transmission of the SYN did not pass here,
             so that another VM may have sent it to another server.
+        has_shown_opening: Whether the packet by which the caller opened the flow passed
+            here.
         is_confirmed: Whether its packets show that the flow is open at its server. A
             token alone does not: a late answer to a copy of the SYN leaves another
             server's.
@@ -89,6 +91,7 @@
         "next_sequence_number",
         "has_missed_copy",
         "has_sent_request",
+        "has_shown_opening",
         "is_confirmed",
         "is_established",
         "latest_copy",
@@ -122,6 +125,7 @@
         self.own_answers = 0
         self.latest_copy = -1
         self.has_missed_copy = False
+        self.has_shown_opening = False
         self.is_confirmed = False
 
 
@@ -251,7 +255,7 @@
         """
         _count_answers(flow, header)
         answers = flow.answers_in_a_row
-        may_be_late = header.token == flow.token or header.token in flow.tried_tokens
+        may_be_late = flow.own_answers > 0 or header.token in flow.tried_tokens
         needed_answers = PROVING_ANSWERS if may_be_late else 1
         if header.token != flow.token and answers >= needed_answers:
             self.move_flow(flow, header.token, now)
@@ -488,21 +492,22 @@
         if flow.token != token:
             self._move(flow, token, now)
         if flow.tried_tokens:
-            flow.is_confirmed = self._is_only_answer(flow, header, now)
+            flow.has_shown_opening = self._shows_opening(flow, header, now)
+            is_only_one = flow.tried_tokens == (header.token,)
+            flow.is_confirmed = flow.has_shown_opening and is_only_one
             self._record_handshake(flow, now)
 
-    def _is_only_answer(self, flow: Flow, header: PacketHeader, now: float) -> bool:
-        """Return whether only one server can have answered a flow's SYN.
+    def _shows_opening(self, flow: Flow, header: PacketHeader, now: float) -> bool:
+        """Return whether a packet is the one by which the caller opened a flow.
 
-        All its transmissions passed here and went to that server, and the caller went
-        on before it would have sent another one.
+        All transmissions of the SYN passed here, and the caller went on before it would
+        have sent another one.
         """
         offsets_s = (*self.settings.syn_transmission_offsets_s, math.inf)
         copy = min(flow.latest_copy, len(offsets_s) - 2)
         gap_s = offsets_s[copy + 1] - offsets_s[copy]
         return (
             not flow.has_missed_copy
-            and flow.tried_tokens == (header.token,)
             and header.sequence_number == flow.first_sequence_number
             and now - flow.syn_forwarded_at < gap_s
         )
--- a/libs/tokens/src/kumquatmux_tokens/lost_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -171,7 +171,7 @@
         due = []
         for flow_key in list(self.load_tracker.contested_flows):
             flow = self.load_tracker.flows.get(flow_key)
-            if flow is not None and not flow.is_established:
+            if flow is not None and not (flow.has_shown_opening or flow.own_answers):
                 continue
             self.load_tracker.contested_flows.discard(flow_key)
             if flow is not None:
@@ -281,33 +281,36 @@
         self, inquiry: Inquiry, header: PacketHeader, reason: str, now: float
     ) -> Decision:
         """Return the decision for a packet by all that is known of its flow."""
-        known = inquiry.knowledge
+        confirmed_token = inquiry.knowledge.confirmed_token
         entry = self._server_of(inquiry)
-        if entry is not None:
-            is_confirmed = entry.token == known.confirmed_token
-            self.load_tracker.adopt_flow(header, entry.token, is_confirmed, now)
-            log_decision(
-                "flow-found",
-                flow=header.flow_key.hex(),
-                token=entry.token,
-                lost=inquiry.lost_token,
-                reason=reason,
-                confirmed=known.confirmed_token,
-            )
-            return Forward(entry.record, entry.token)
-        if known.confirmed_token:
-            return Reset(header.ack_number, reason, known.confirmed_token)
-        return Drop("flow-unknown")
+        is_lost = confirmed_token == inquiry.lost_token or (
+            entry is not None and self._is_gone(entry)
+        )
+        if confirmed_token and is_lost:
+            return Reset(header.ack_number, reason, confirmed_token)
+        if entry is None:
+            return Drop("flow-unknown")
+        self.load_tracker.adopt_flow(header, entry.token, bool(confirmed_token), now)
+        log_decision(
+            "flow-found",
+            flow=header.flow_key.hex(),
+            token=entry.token,
+            lost=inquiry.lost_token,
+            reason=reason,
+            confirmed=confirmed_token,
+        )
+        return Forward(entry.record, entry.token)
 
     def _server_of(self, inquiry: Inquiry) -> ServerEntry | None:
-        """Return the running server at which a flow is open, None if it is not known.
+        """Return the server at which a flow is open, None if it is not known.
 
         A flow that no VM saw open was placed at several servers. If one other than the
         one that is gone runs, the flow is open there, or nowhere.
         """
         known = inquiry.knowledge
-        tokens = (known.confirmed_token,) if known.confirmed_token else known.tokens
-        entries = {self.directory.running_entry(token) for token in tokens}
+        if known.confirmed_token:
+            return self.directory.running_entry(known.confirmed_token)
+        entries = {self.directory.running_entry(token) for token in known.tokens}
         running = [
             one
             for one in entries
@@ -315,6 +318,9 @@
         ]
         return running[0] if len(running) == 1 else None
 
+    def _is_gone(self, entry: ServerEntry) -> bool:
+        return entry.ended_at is not None and self.directory.is_gone(entry)
+
     def _own_knowledge(
         self, flow_key: bytes, sequence_number: int, now: float
     ) -> FlowKnowledge:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -448,10 +448,13 @@
         if flow.token == header.token:
             return header.token
         own_entry = self.directory.running_entry(flow.token)
-        if own_entry is None or self._is_over(own_entry, now):
+        if own_entry is None:
             return header.token
         is_shown = flow.is_confirmed or flow.own_answers > 0
-        if flow.token in flow.tried_tokens or is_shown:
+        if self._is_over(own_entry, now):
+            may_serve = is_shown and not self.directory.is_gone(own_entry)
+            return flow.token if may_serve else header.token
+        if is_shown or flow.token in flow.tried_tokens:
             return flow.token
         named_entry = self.directory.running_entry(header.token)
         if named_entry is not None and self._is_over(named_entry, now):
@@ -488,7 +491,17 @@
     def _decide_without_route(self, header: PacketHeader) -> Decision:
         if not self.route_table.document_number:
             return HoldForServer("no-document")
-        return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
+        return self._refuse(header, "no-route")
+
+    def _refuse(self, header: PacketHeader, reason: str) -> Decision:
+        """Return the decision for a SYN packet that cannot be served.
+
+        A copy of a SYN is dropped: the flow may be open, by way of the VM that got an
+        earlier one.
+        """
+        if header.retransmission_count:
+            return Drop("copy-refused")
+        return Reset(SYN_RESET_SEQUENCE_NUMBER, reason)
 
     def _decide_without_server(
         self, header: PacketHeader, service: ServiceName, now: float
@@ -502,7 +515,7 @@
         waiting_since = self.last_served_at.get(service, self.started_at)
         if waiting_since > now - self.settings.server_wait_s:
             return HoldForServer("no-server-yet")
-        return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
+        return self._refuse(header, "no-server")
 
     def _log_placement(
         self,
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -847,11 +847,34 @@
     assert router.route_packet(packet, NOW_S + 5.0) == Forward(other, other.token)
 
 
+# Guards against a late token that leads a flow away from a server that left and serves.
+def test_a_flow_shown_at_a_server_that_left_goes_there_until_it_is_gone():
+    router, ended = make_ended_server()
+    other = make_server_record("i-2")
+    router.store_record(other, NOW_S)
+    packet = make_data_packet(other.token, sequence=101)
+    probed = ForwardAndProbe(ended, ended.token, True)
+    assert router.route_packet(packet, NOW_S + 5.0) == probed
+
+
+# Guards against a reset of a flow that is open: a copy of its SYN came to a VM that
+# cannot place it.
+def test_a_copy_of_a_syn_that_cannot_be_placed_is_dropped():
+    router = make_router()
+    assert isinstance(router.route_packet(make_syn(), 6.0), Reset)
+    copy = make_syn(retransmission_count=1)
+    assert router.route_packet(copy, 6.0) == Drop("copy-refused")
+    copy = make_syn(retransmission_count=1, route_address=OTHER_ROUTE_ADDRESS)
+    assert router.route_packet(copy, 6.0) == Drop("copy-refused")
+
+
 # Guards against a flow that is kept from its server by the record of one that is gone.
 def test_a_flow_whose_known_server_is_gone_goes_by_its_token():
     router = make_router(make_server_record("i-1"))
     open_flow(router)
-    router.store_record(make_server_record("i-1", number=2, phase=Phase.ENDED), NOW_S)
+    ended = make_server_record("i-1", number=2, phase=Phase.ENDED)
+    router.store_record(ended, NOW_S)
+    router.directory.mark_gone(ended.token)
     other = make_server_record("i-2")
     router.store_record(other, NOW_S)
     packet = make_data_packet(other.token, sequence=110)
