Let no end wait for a control VM that was stopped by plan

Callers of servers that had left waited 4.5 s and a probe for their reset, for as long as a control VM that was rolled or replaced by plan was away: since ends wait for the word of all known control VMs, a former one held them up until it was forgotten (20 s), or for good while it is a seed.

Cause: a control VM that stops did not say so to the others.

Evidence: test_a_vm_that_was_stopped_by_plan_holds_up_no_end fails before. One that is back and then is not heard holds ends up as before (2 cases).

Change: polls of a control VM that stops say so, in the field that entry VMs use. It refuses reports from then on, so that its word is not needed until it polls again without.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -125,6 +125,8 @@
         publisher: The feed to others.
         follower: The feeds of the other control VMs.
         is_stopping: Whether it sends callers elsewhere.
+        stopping_vms: Other control VMs that said so of themselves, until they say
+            otherwise; they take no reports.
         has_unpushed: Whether changes wait for the next tick to be pushed.
         pushed_at: Time of the latest push, in seconds of the monotonic clock.
     """
@@ -155,6 +157,7 @@
             FollowerSettings(settings.vm, settings.zone, True, settings.seeds)
         )
         self.is_stopping = False
+        self.stopping_vms: set[VmId] = set()
         self.started_at = now
         for record in self.saved.load():
             self.leases.merge(record, now)
@@ -195,7 +198,7 @@
             for vm, poll in self.follower.polls(now):
                 self.out.append(Sent(vm, poll))
             self.agreed.set_peers(tuple(sorted(self.follower.sources)))
-            self.leases.set_others(self.follower.sources)
+            self.leases.set_others(self.follower.sources.keys() - self.stopping_vms)
         for vm, answer in self.publisher.push_documents(now):
             self.out.append(Sent(vm, answer))
         if self._is_due("expiry", EXPIRY_S, now) and self.leases.expire(now):
@@ -213,6 +216,7 @@
     def stop(self, now: float) -> list[Sent | Answered]:
         """Send callers elsewhere and hand leadership over."""
         self.is_stopping = True
+        self.follower.is_stopping = True
         self.agreed.hand_over(now)
         return self._effects(now)
 
@@ -226,6 +230,7 @@
         self.out.append(Sent(message.sender, answer))
         if message.is_control:
             self.follower.add(message.sender)
+            self._note_stopping(message)
 
     @_handle_message.register
     def _(self, message: FeedAnswer, now: float) -> None:
@@ -377,6 +382,14 @@
         self.pushed_at = now
         self.out.extend(Sent(vm, answer) for vm, answer in self.publisher.push(now))
 
+    def _note_stopping(self, poll: FeedPoll) -> None:
+        """Keep whether another control VM takes reports."""
+        self.stopping_vms &= self.follower.sources.keys()
+        if poll.is_stopping:
+            self.stopping_vms.add(poll.sender)
+        else:
+            self.stopping_vms.discard(poll.sender)
+
     def _record_leave(self, name: str, now: float) -> None:
         if self.leases.leave(name, now):
             self._push(now)
--- a/libs/lab/tests/test_registrar_faults.py
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -298,6 +298,41 @@
     assert ended_looks * 0.05 < 1.0
 
 
+def stop_by_plan(world, vm):
+    core = world.nodes[vm].core
+    world._carry_out(vm, core.stop(world.clock(vm)))
+    world.run_until(world.now + 1.2)
+    world.stop(vm)
+
+
+def phases_after_a_leave(world):
+    """Return the phases on entry VMs 3 s after a server that drained has left."""
+    say(world, Phase.READY, 1)
+    say(world, Phase.DRAINING, 2)
+    world.run_until(world.now + 0.5)
+    asked(world, "c-a", LeaveCall("i-1"), within_s=3.0)
+    return {one.report.phase for one in entry_records(world)}
+
+
+# Guards against ends that wait for a control VM which was stopped by plan.
+def test_a_vm_that_was_stopped_by_plan_holds_up_no_end(world):
+    stop_by_plan(world, "c-c")
+    assert phases_after_a_leave(world) == {Phase.ENDED}
+
+
+# Guards against an end without the word of a VM that is back and takes reports.
+@pytest.mark.parametrize("is_back", [True, False])
+def test_a_vm_that_may_take_reports_and_is_not_heard_holds_up_an_end(world, is_back):
+    if is_back:
+        stop_by_plan(world, "c-c")
+        world.start("c-c")
+        world.run_until(world.now + 1.5)
+    others = [vm for vm in SEEDS if vm != "c-c"]
+    pairs = {("c-c", vm) for vm in others}
+    world.cuts |= pairs | {(vm, "c-c") for vm in others}
+    assert phases_after_a_leave(world) == {Phase.DRAINING}
+
+
 def world_of_vms_that_poll_in_turn(seed):
     """Return a world whose VMs started at different times."""
     made = World(Random(seed), SEEDS)
