--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -253,6 +253,9 @@
         while more and more is acknowledged show that it is that of the flow's server,
         if they are more than the late answers that a server can give.
         """
+        if flow.is_confirmed and header.token == flow.token:
+            flow.named_token = header.token
+            return
         _count_answers(flow, header)
         answers = flow.answers_in_a_row
         may_be_late = flow.own_answers > 0 or header.token in flow.tried_tokens
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -404,7 +404,9 @@
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
         named_token = self._server_token(header, now)
-        entry = self.directory.running_entry(named_token)
+        entry = self.directory.by_token.get(named_token)
+        if entry is not None and entry.ended_at is not None:
+            entry = self.directory.running_entry(named_token)
         if entry is None:
             return HoldForToken(named_token) if named_token else Drop("no-token")
         token = entry.token
@@ -412,12 +414,13 @@
             header.route_address, now - self.settings.removed_route_grace_s
         ):
             return Reset(header.ack_number, "route-removed", token)
-        is_over = self._is_over(entry, now)
-        if is_over and self.directory.is_gone(entry):
-            return self.route_lost_packet(header, token, now)
-        elsewhere = self.lost_flows.find(header, token, now) if is_over else None
-        if elsewhere is not None:
-            return elsewhere
+        is_over = entry.ended_at is not None and self._is_over(entry, now)
+        if is_over:
+            if self.directory.is_gone(entry):
+                return self.route_lost_packet(header, token, now)
+            elsewhere = self.lost_flows.find(header, token, now)
+            if elsewhere is not None:
+                return elsewhere
         if token != named_token:
             self._follow_restart(header, token, now)
         self.load_tracker.record_packet(header, token, now)
