Limit the probes that an entry VM has in progress at once

What callers saw: nothing yet at today's sizes. Once a zone of the two-year size is lost, an entry VM would open a connection to each of its 4,850 servers at once, with 4,100 descriptors. By reading, the probes beyond that count as not made.

Cause: ServerProbes limits the probes of one server, and nothing those of all of them.

Change: probes_limit, 1,024. A probe beyond it waits in line, first come first served, and starts as soon as one ends or is overdue (after 3 s without a result). Meanwhile the packets of its flows are forwarded, and held for its result. A server that is suspect again joins the end of the line, so none is starved. A result that comes after its probe is overdue counts for nothing. A server that was forgotten in line leaves it.

Evidence: with the setting but without the check of room, 6 tests of test_probes.py and 3 of test_silent_servers.py fail: 4,850 probes start at once. With it they start in rounds of 1,024, 1,024, 1,024, 1,024 and 754 (mock clock); the last wait 4 x 1.5 s = 6.0 s.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -179,7 +179,7 @@
         effects: list[Effect] = []
         for held in self.router.record_probe(token, result, now):
             effects += self._contained("packet", self._route_lost, held, token, now)
-        return effects
+        return effects + self._waiting_probes(now)
 
     def tick(self, now: float) -> list[Effect]:
         """Return what is due."""
@@ -188,6 +188,7 @@
         if now >= self.sweep_at:
             self.sweep_at = now + POLL_S
             self.router.remove_expired(now)
+            effects += self._waiting_probes(now)
             self.table.remove_ended(now - ENDED_RETENTION_S)
             self.contact.note_feed(now)
             self.contact.note_zones(now)
@@ -207,6 +208,11 @@
             )
         return effects
 
+    def _waiting_probes(self, now: float) -> list[Effect]:
+        """Return the probes that waited for others to end."""
+        entries = self.router.start_waiting_probes(now)
+        return [Probe(one.token, one.record.report.endpoint) for one in entries]
+
     def stop(self, now: float) -> list[Effect]:
         """Let the fabric and the other VMs know that this one ends soon."""
         self.is_stopping = True
--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -29,6 +29,7 @@
     Phase.READY, 0.0,
 )  # fmt: skip
 SERVER = ServerRecord(REPORT, "c2")
+OTHER_TOKEN = SERVER.token + 1
 
 
 class OpenFlow:
@@ -182,6 +183,51 @@
     assert core.counts[f"probes.{result.value}"] == 1
 
 
+@pytest.fixture
+def busy_core(core):
+    """An entry VM of one probe at once, which has one of another server in progress."""
+    settings = core.router.settings._replace(probes_limit=1)
+    core.router.probes.settings = settings
+    listen(core, 0.0, 2.0, "a", "b")
+    listen(core, 2.0, 8.0, "a")
+    assert core.router.probes.start(OTHER_TOKEN, 8.0)
+    return core
+
+
+def probes_among(effects):
+    return [one for one in effects if isinstance(one, Probe)]
+
+
+# Guards against a flow whose server is not probed, as too many probes are in progress:
+# it is neither reset without a probe nor left alone for good.
+def test_a_flow_whose_probe_waits_is_forwarded_and_reset_by_its_probe(busy_core):
+    sent = [one for now in (8.0, 8.7, 8.9) for one in busy_core.packet(DATA, now)]
+    assert [one.data for one in sent] == [b"forwarded"] * 3
+    listen(busy_core, 8.9, 9.5, "a")
+    after = busy_core.probed(OTHER_TOKEN, ProbeResult.UNANSWERED, 9.5)
+    assert probes_among(after) == [Probe(SERVER.token, REPORT.endpoint)]
+    assert not resets_among(after)
+    listen(busy_core, 9.5, 11.0, "a")
+    assert resets_among(busy_core.probed(SERVER.token, ProbeResult.UNANSWERED, 11.0))
+
+
+# The same where the probes in progress never have a result.
+def test_a_probe_that_waits_starts_once_those_in_progress_are_overdue(busy_core):
+    resets(busy_core, 8.0, 8.7, 8.9)
+    assert not probes_among(busy_core.tick(10.9))
+    started = probes_among(busy_core.tick(12.0))
+    assert started == [Probe(SERVER.token, REPORT.endpoint)]
+
+
+# Guards against room that is kept for a server that was forgotten while it waited.
+def test_a_probe_of_a_server_that_was_forgotten_makes_room_for_others(busy_core):
+    forgotten_token = OTHER_TOKEN + 1
+    assert not busy_core.router.probes.start(forgotten_token, 8.0)
+    resets(busy_core, 8.0, 8.7, 8.9)
+    after = busy_core.probed(OTHER_TOKEN, ProbeResult.UNANSWERED, 9.5)
+    assert probes_among(after) == [Probe(SERVER.token, REPORT.endpoint)]
+
+
 class OwnSilence(RuleBasedStateMachine):
     """An entry VM that pauses and is cut off while the server of a flow goes on."""
 
--- a/libs/tokens/src/kumquatmux_tokens/probes.py
+++ b/libs/tokens/src/kumquatmux_tokens/probes.py
@@ -31,7 +31,7 @@
     """Latest probe of one server.
 
     Attributes:
-        started_at: Time when it started.
+        started_at: Time when it started, infinity while it waits for others to end.
         ended_at: Time when its result came, infinity before that.
         result: Its result, None before that.
         packets: Packets of flows that may be lost, by flow key.
@@ -39,8 +39,8 @@
 
     __slots__ = ("ended_at", "packets", "result", "started_at")
 
-    def __init__(self, now: float) -> None:
-        self.started_at = now
+    def __init__(self) -> None:
+        self.started_at = math.inf
         self.ended_at = math.inf
         self.result: ProbeResult | None = None
         self.packets: dict[bytes, BufferedPacket] = {}
@@ -51,19 +51,44 @@
 
     Attributes:
         by_token: The probes by token of the server.
+        waiting: Those beyond the limit of probes in progress, by token, first come
+            first.
+        in_progress: Those that have started and have no result, by token, oldest first.
     """
 
     def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.by_token: dict[int, ServerProbe] = {}
+        self.waiting: dict[int, ServerProbe] = {}
+        self.in_progress: dict[int, ServerProbe] = {}
 
     def start(self, token: int, now: float) -> bool:
-        """Return whether to probe a server, as no probe is in progress or fresh."""
+        """Return whether to probe a server now.
+
+        If no probe of it waits, is in progress or fresh, one starts, or waits for its
+        turn if too many are in progress.
+        """
         if self._fresh(token, now) is not None:
             return False
-        self.by_token[token] = ServerProbe(now)
+        must_wait = bool(self.waiting) or not self._has_room(now)
+        probe = ServerProbe()
+        self.by_token[token] = probe
+        self.waiting[token] = probe
+        if must_wait:
+            return False
+        self._start_next(now)
         return True
 
+    def start_waiting(self, now: float) -> int | None:
+        """Return the token of the server that has waited longest, to probe it now.
+
+        Returns:
+            None if none waits, or too many probes are in progress.
+        """
+        if not self.waiting or not self._has_room(now):
+            return None
+        return self._start_next(now)
+
     def is_lost(self, token: int, now: float) -> bool:
         """Return whether a server did not accept a connection a short time ago."""
         probe = self._fresh(token, now)
@@ -93,8 +118,8 @@
             listening_since: Time since which this VM has read without a pause. A server
                 is not taken for silent over a pause.
         """
-        probe = self.by_token.get(token)
-        if probe is None or probe.result is not None:
+        probe = self.in_progress.pop(token, None)
+        if probe is None or self.by_token.get(token) is not probe:
             return []
         is_silent = result == ProbeResult.UNANSWERED
         has_paused = listening_since > probe.started_at
@@ -113,8 +138,25 @@
             if self._fresh(token, now) is None:
                 del self.by_token[token]
 
+    def _start_next(self, now: float) -> int:
+        """Start the probe that has waited longest; return the token of its server."""
+        token = next(iter(self.waiting))
+        probe = self.waiting.pop(token)
+        probe.started_at = now
+        self.in_progress[token] = probe
+        return token
+
+    def _has_room(self, now: float) -> bool:
+        """Return whether a further probe may start; forget those that are overdue."""
+        while self.in_progress:
+            token, oldest = next(iter(self.in_progress.items()))
+            if now < self._overdue_at(oldest):
+                break
+            del self.in_progress[token]
+        return len(self.in_progress) < self.settings.probes_limit
+
     def _fresh(self, token: int, now: float) -> ServerProbe | None:
-        """Return the probe of a server that is in progress or still counts."""
+        """Return the probe of a server that waits, is in progress or still counts."""
         probe = self.by_token.get(token)
         if probe is None:
             return None
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -202,6 +202,17 @@
             one for one in packets if self._is_server_suspect(one.header, record, now)
         ]
 
+    def start_waiting_probes(self, now: float) -> list[ServerEntry]:
+        """Return the servers to probe now that waited for other probes to end."""
+        entries = []
+        while (token := self.probes.start_waiting(now)) is not None:
+            entry = self.directory.running_entry(token)
+            if entry is not None and entry.token == token:
+                entries.append(entry)
+            else:
+                self.record_probe(token, ProbeResult.NOT_MADE, now)
+        return entries
+
     def route_lost_packet(
         self, header: PacketHeader, token: int, now: float
     ) -> Decision:
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -75,6 +75,8 @@
             asked for before its flows are reset; a lost packet is sent again within.
         probe_validity_s: Seconds for which the result counts.
         probe_packets_limit: Limit of packets held for the result of one probe.
+        probes_limit: Limit of probes in progress at once, each of which takes one of
+            this VM's descriptors; further ones wait.
         flow_inquiry_timeout_s: Seconds for which answers of the other VMs of the zone
             are waited for that know where a flow is open.
         flow_inquiry_validity_s: Seconds after the question for which its outcome holds.
@@ -141,6 +143,7 @@
     probe_timeout_s: float = 1.5
     probe_validity_s: float = 1.0
     probe_packets_limit: int = 256
+    probes_limit: int = 1024
     flow_inquiry_timeout_s: float = 0.1
     flow_inquiry_validity_s: float = 1.0
     flow_inquiry_limit: int = 256
--- a/libs/tokens/tests/test_probes.py
+++ b/libs/tokens/tests/test_probes.py
@@ -84,3 +84,99 @@
     assert probes.by_token
     probes.remove_expired(2.6)
     assert not probes.by_token
+
+
+SERVERS = range(1, 21)
+
+
+@pytest.fixture
+def few_probes():
+    return ServerProbes(TokenRouterSettings("e1", "a", probes_limit=2))
+
+
+def started(probes, tokens, now):
+    """Return the servers to probe among some whose callers repeat themselves."""
+    return [token for token in tokens if probes.start(token, now)]
+
+
+def start_waiting(probes, now):
+    return list(iter(lambda: probes.start_waiting(now), None))
+
+
+def end(probes, tokens, now):
+    """End probes; return those that start in their place."""
+    for token in tokens:
+        probes.record(token, ProbeResult.UNANSWERED, now, 0.0)
+    return start_waiting(probes, now)
+
+
+# Guards against more connections than descriptors once a whole zone is lost.
+def test_a_limit_bounds_the_probes_of_all_servers(few_probes):
+    assert started(few_probes, SERVERS, 1.0) == [1, 2]
+    assert started(few_probes, SERVERS, 1.1) == []
+    assert start_waiting(few_probes, 1.1) == []
+    assert end(few_probes, (1,), 1.2) == [3]
+    assert end(few_probes, (2, 3), 1.3) == [4, 5]
+
+
+# Guards against a server that is lost without a probe, and against flows that learn of
+# it only when their callers repeat themselves once more.
+def test_packets_are_held_while_a_probe_waits(few_probes):
+    started(few_probes, (1, 2, 3), 1.0)
+    few_probes.hold(data_of(7), b"seven", 3, 1.1)
+    assert few_probes.record(3, ProbeResult.UNANSWERED, 1.2, 0.0) == []
+    assert not few_probes.is_lost(3, 1.2)
+    few_probes.remove_expired(60.0)
+    assert start_waiting(few_probes, 60.0) == [3]
+    held = few_probes.record(3, ProbeResult.UNANSWERED, 61.5, 0.0)
+    assert [one.data for one in held] == [b"seven"]
+    assert few_probes.is_lost(3, 61.5)
+
+
+# Guards against a limit that is used up for good by probes without a result.
+def test_probes_without_a_result_make_room_for_others(few_probes):
+    assert started(few_probes, (1, 2, 3), 1.0) == [1, 2]
+    assert start_waiting(few_probes, 3.9) == []
+    assert start_waiting(few_probes, 4.0) == [3]
+    assert started(few_probes, (1, 2), 4.0) == [1]
+    assert end(few_probes, (1,), 4.1) == [2]
+
+
+# Guards against a late result that is taken for that of the next probe, or of none.
+def test_a_result_of_an_overdue_probe_counts_for_nothing(few_probes):
+    assert started(few_probes, (1, 2, 3), 1.0) == [1, 2]
+    assert not few_probes.start(1, 4.0)
+    few_probes.remove_expired(4.0)
+    for token in (1, 2):
+        assert few_probes.record(token, ProbeResult.UNANSWERED, 4.0, 3.9) == []
+        assert not few_probes.is_lost(token, 4.0)
+    assert start_waiting(few_probes, 4.0) == [3, 1]
+
+
+# Guards against a limit that is used up by probes whose results count for nothing.
+def test_a_probe_that_a_pause_voids_makes_room_for_others(few_probes):
+    assert started(few_probes, (1, 2, 3), 1.0) == [1, 2]
+    few_probes.record(1, ProbeResult.UNANSWERED, 2.5, 2.4)
+    assert start_waiting(few_probes, 2.5) == [3]
+
+
+# Guards against servers whose callers repeat themselves often and take all room.
+def test_no_server_is_probed_again_before_all_that_wait(few_probes):
+    probed = []
+    now = 0.0
+    while len(probed) < 100:
+        now += 2.6
+        new = start_waiting(few_probes, now) + started(few_probes, SERVERS, now)
+        probed += new
+        for token in new:
+            few_probes.record(token, ProbeResult.UNANSWERED, now + 1.5, 0.0)
+    assert probed == list(SERVERS) * 5
+
+
+# Guards against a lost zone of the two-year size whose last servers wait for long.
+def test_the_servers_of_a_lost_zone_are_probed_within_five_rounds():
+    probes = ServerProbes(TokenRouterSettings("e1", "a"))
+    rounds = [started(probes, range(4850), 0.0)]
+    while rounds[-1]:
+        rounds.append(end(probes, rounds[-1], 1.5 * len(rounds)))
+    assert [len(one) for one in rounds] == [1024, 1024, 1024, 1024, 754, 0]
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -23,6 +23,8 @@
 LOST_A_DAY = 160
 DAY_S = 86_400
 ENTRY_DESCRIPTORS = 4_100
+PROBES_LIMIT = 1_024
+PROBE_TIMEOUT_S = 1.5
 LIMIT_BYTES = 6_000
 LIMIT_CPU_PERCENT = 2.6
 LIMIT_MB = 32
@@ -247,6 +249,8 @@
     answers = 2 * NODES / CONTROL_VMS * s["feed_answer_bytes"] * polled / 3
     zone_vms = NODES / ZONES
     zone_servers = SERVERS / ZONES
+    probes = min(zone_servers, PROBES_LIMIT)
+    probe_rounds = math.ceil(zone_servers / PROBES_LIMIT)
     change = s["load_share_bytes"] + s["load_server_bytes"]
     asked = NEW_FLOWS / NODES * (s["place_question_bytes"] + s["place_answer_bytes"])
     changes = 2 * NEW_FLOWS / NODES * change
@@ -306,9 +310,15 @@
         ),
         Row(
             "probes open at once, a zone lost, limit 4,100 descriptors",
-            "one for each suspect server; nothing bounds them together",
-            f"{zone_servers:.0f}",
-            "built; " + verdict(zone_servers < ENTRY_DESCRIPTORS),
+            f"one for each of {zone_servers:.0f} suspect servers, at most {PROBES_LIMIT}",
+            f"{probes:.0f}",
+            "built; " + verdict(probes < ENTRY_DESCRIPTORS),
+        ),
+        Row(
+            "wait of the last server's probe then",
+            f"{probe_rounds - 1} rounds of probes without an answer x {PROBE_TIMEOUT_S} s",
+            f"{(probe_rounds - 1) * PROBE_TIMEOUT_S:.1f} s",
+            "built",
         ),
         Row(
             "memory of counted flows",
