Let no end wait for good for a control VM that is gone

Cause: a lifetime ends only while all other control VMs are heard, and one that is gone stays known while it is a seed or others still name it.

Change: one that was not heard for 20 s, through which this VM listened, holds up nothing. Two control VMs that hold the same report don't refute each other any more, which told it 3 to 4 times a second until the next one. An entry VM takes a late server whose address another with a later start has for gone, without a probe, which that one would accept.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -198,7 +198,9 @@
             for vm, poll in self.follower.polls(now):
                 self.out.append(Sent(vm, poll))
             self.agreed.set_peers(tuple(sorted(self.follower.sources)))
-            self.leases.set_others(self.follower.sources.keys() - self.stopping_vms)
+            listening = self.leases.endings.listening
+            holders = self.follower.possible_holders(listening, now)
+            self.leases.set_others(holders - self.stopping_vms)
         for vm, answer in self.publisher.push_documents(now):
             self.out.append(Sent(vm, answer))
         if self._is_due("expiry", EXPIRY_S, now) and self.leases.expire(now):
--- a/libs/lab/tests/test_registrar_faults.py
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -438,3 +438,29 @@
 
 def one_founder(vms):
     return founding_state(ReplicaId(min(vms), founding_folder(vms)), vms)
+
+
+# Guards against lifetimes that never end once a control VM is lost, or replaced by one
+# of another name: the others' lists go on to name it.
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_a_control_vm_that_is_gone_holds_up_no_end_for_good(is_replaced):
+    world = World(Random(5), SEEDS)
+    for vm in SEEDS:
+        zone = ZoneName(vm[-1])
+        world.add(Control(vm, zone), founds=True)
+        world.add(Entry(VmId(f"e-{zone}"), zone))
+    world.run_until(2.0)
+    world.stop("c-c")
+    if is_replaced:
+        del world.nodes["c-c"]
+        world.name_seed(VmId("n-c-c"), instead_of="c-c")
+        world.add(Control(VmId("n-c-c"), ZoneName("c")))
+    world.run_until(24.0)
+    say(world, Phase.READY, 1)
+    world.run_until(24.5)
+    say(world, Phase.DRAINING, 2)
+    world.run_until(25.0)
+    asked(world, "c-a", LeaveCall("i-1"), within_s=0.2)
+    world.run_until(29.0)
+    phases = {record.report.phase for record in entry_records(world)}
+    assert phases == {Phase.ENDED}
--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -186,6 +186,22 @@
             if source.zone and source.zone not in heard_zones
         )
 
+    def possible_holders(self, listening: Listening, now: float) -> set[VmId]:
+        """Return the control VMs that may be running, and so have servers' reports.
+
+        One that was not heard for ``source_retention_s`` is taken for gone, also while
+        it is a seed or others still name it.
+
+        Args:
+            listening: Silence that this VM may judge them by.
+            now: Current time, in seconds of the monotonic clock.
+        """
+        return {
+            vm
+            for vm, one in self.sources.items()
+            if listening.silent_s(one.heard_at, now) <= self.settings.source_retention_s
+        }
+
     def is_known_late(self, record: ServerRecord, now: float) -> bool:
         """Return whether a server is late by more than hearsay.
 
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -267,12 +267,14 @@
         """Return whether a record is against what this VM says of a server it holds.
 
         Renewals are not told, so that another VM may take a report that was held up for
-        the newest one, and itself for the holder.
+        the newest one, and itself for the holder. Two that have the same report, as its
+        answer came too late, leave the matter to the next one.
         """
         existing = self.table.get(record.report.lifetime.name)
         if existing is None or existing.holder != self.own_vm or existing.is_unused:
             return False
-        return record.is_unused or record.holder != self.own_vm
+        is_behind = record.sort_key < existing.sort_key
+        return record.is_unused or (record.holder != self.own_vm and is_behind)
 
     def _can_refute(self, told: ServerRecord, now: float) -> bool:
         """Return whether the reports of a server to this VM have not stopped.
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -437,7 +437,7 @@
         self.load_tracker.record_packet(header, token, now)
         if not is_over and not self._is_server_suspect(header, entry.record, now):
             return Forward(entry.record, token)
-        if self.probes.is_lost(token, now):
+        if self.directory.is_gone(entry) or self.probes.is_lost(token, now):
             return self.route_lost_packet(header, token, now)
         return ForwardAndProbe(entry.record, token, self.probes.start(token, now))
 
