End a server whose address another has taken, whoever is not heard

Callers of a server that is gone and whose address another one has would wait out their time budget for as long as any control VM is down: the probe is accepted by the other server, and the end waits for the word of all control VMs.

Cause: that word tells whether the server reports elsewhere. Where another server reports steadily from the address it is not needed: only one of the two can run.

Evidence: test_a_server_that_reports_steadily_ends_the_former_one_at_its_address fails before.

Change: a taken address ends a quiet lifetime, too, once the later start has reported to the same VM without a break for as long as a silent server takes to be late (4.5 s), and still does. The count starts anew with each lifetime. Reports that were held up would have to come in that rhythm. Only where both report to one control VM; otherwise the end waits.

--- a/libs/registry/src/kumquatmux_registry/endings.py
+++ b/libs/registry/src/kumquatmux_registry/endings.py
@@ -78,11 +78,16 @@
     def record_report(self, name: str, now: float) -> None:
         """Record that a server reported, which refutes a leave call before."""
         previous_at = self.last_report_at.get(name, -math.inf)
-        if now > previous_at + self.settings.quiet_s:
+        if now > previous_at + self.settings.quiet_s or name not in self.steady_since:
             self.steady_since[name] = now
         self.last_report_at[name] = now
         self.left_lifetimes.pop(name, None)
 
+    def record_start(self, name: str, now: float) -> None:
+        """Record the first report of a lifetime, which continues no other's reports."""
+        self.steady_since.pop(name, None)
+        self.record_report(name, now)
+
     def record_leave(self, lifetime: Lifetime, now: float) -> None:
         """Record a leave call for a server that reports to this VM.
 
@@ -137,7 +142,8 @@
             return False
         reported_at = self.last_report_at.get(record.report.lifetime.name, -math.inf)
         is_quiet = self.listening.silent_s(reported_at, now) > self.settings.quiet_s
-        return is_quiet and self._is_still_holder(reported_at, now)
+        is_known_to_be = self._is_still_holder(reported_at, now)
+        return is_quiet and (is_known_to_be or self._is_replaced(record, now))
 
     def forget_unknown(self) -> None:
         """Drop what is kept of servers that are not known any more."""
@@ -158,6 +164,20 @@
         oldest_allowed = max(quiet_since, now - self.settings.quiet_s)
         return all(told_at >= oldest_allowed for told_at in self.told_at.values())
 
+    def _is_replaced(self, record: ServerRecord, now: float) -> bool:
+        """Return whether a later start has reported steadily here from the address.
+
+        Only one of the two can run, so that this one reports to no other VM.
+        """
+        claimant = self.table.later_at_endpoint(record)
+        if claimant is None or claimant.record.holder != self.own_vm:
+            return False
+        name = claimant.record.report.lifetime.name
+        reported_at = self.last_report_at.get(name, -math.inf)
+        steady_s = reported_at - self.steady_since.get(name, now)
+        is_on_time = self.listening.silent_s(reported_at, now) <= self.settings.quiet_s
+        return is_on_time and steady_s >= self.settings.late_after_s
+
     def _has_not_reported_since(
         self, record: ServerRecord, claimant: TableEntry
     ) -> bool:
--- a/libs/registry/src/kumquatmux_registry/leases.py
+++ b/libs/registry/src/kumquatmux_registry/leases.py
@@ -315,13 +315,15 @@
         name = report.lifetime.name
         existing = self.table.get(name)
         record = ServerRecord(report, self.own_vm)
-        if existing is None or existing.report.lifetime != report.lifetime:
+        is_first = existing is None or existing.report.lifetime != report.lifetime
+        was_unused = existing is not None and existing.is_unused
+        if is_first:
             is_suspect = self.table.later_at_endpoint(record) is not None
         else:
-            is_suspect = existing.is_unused and self.endings.is_doubtful(record, now)
+            is_suspect = was_unused and self.endings.is_doubtful(record, now)
         if is_suspect:
             record = record.with_suspicion_toggled()
         changed = self.table.merge(record, now)
-        if changed:
-            self.endings.record_report(name, now)
+        if changed and is_first:
+            self.endings.record_start(name, now)
         return changed
--- a/libs/registry/tests/test_endings.py
+++ b/libs/registry/tests/test_endings.py
@@ -230,6 +230,35 @@
     assert phase_of(leases) == Phase.READY
 
 
+# Guards against flows to a server that is gone, and whose address another one has, for
+# as long as any control VM is down.
+def test_a_server_that_reports_steadily_ends_the_former_one_at_its_address(leases):
+    leases.set_others(["c2"])
+    leases.report(at_one_endpoint("i-1", 5), 0.0)
+    look_until(leases, 0.0, 4.75)
+    for number in range(1, 7):
+        now = 3.75 + number * 1.25
+        leases.report(at_one_endpoint("i-2", 9, number), now)
+        look_until(leases, now + 0.25, now + 1.0)
+        is_over = phase_of(leases) == Phase.ENDED
+        assert is_over == (number >= 5)
+    assert phase_of(leases, "i-2") == Phase.READY
+
+
+# Guards against an end by a former lifetime of the other server, at another address.
+def test_a_server_that_has_just_moved_to_an_address_ends_none(leases):
+    leases.set_others(["c2"])
+    leases.report(at_one_endpoint("i-1", 5), 0.0)
+    elsewhere = make_report(1, 8, name="i-2", port=2)
+    for number in range(1, 7):
+        leases.report(elsewhere._replace(number=number), number * 1.25)
+        look_until(leases, number * 1.25, number * 1.25 + 1.0)
+    leases.report(make_report(1, 9, name="i-2"), 8.75)
+    leases.report(make_report(2, 9, name="i-2"), 10.0)
+    look_until(leases, 10.0, 11.0)
+    assert phase_of(leases) == Phase.READY
+
+
 class Pair:
     """Two control VMs that tell each other all changes."""
 
