--- a/libs/daemons/tests/test_flow_world.py
+++ b/libs/daemons/tests/test_flow_world.py
@@ -341,6 +341,29 @@
     assert counted(world) == []
 
 
+# Guards against the same where the VM that saw the flow open fails 0.3 s after its SYN.
+@red("late-token-after-a-vm-failed")
+def test_a_flow_is_kept_when_the_vm_that_saw_it_open_fails(start):
+    world = start(1, servers=2)
+    world.run(2.0)
+    world.after(0.3, setattr, world.vm_of(1), "is_up", False)
+    open_at_two(world, 1.2, 5.0, 1.0)
+    world.run(12.0)
+    assert counted(world) == []
+
+
+# Guards against the same at the VM that placed the flow, where the flow's own server
+# has sent its leave call and serves on.
+@red("late-token-while-the-server-that-left-serves-on")
+def test_a_flow_of_a_server_that_left_is_kept_under_a_late_token(start):
+    world = start(1, servers=2)
+    _, holder, _ = open_at_two(world, 1.2, 8.0)
+    holder.drain(0.5, 9.0)
+    world.run(12.0)
+    assert holder.is_up
+    assert counted(world) == []
+
+
 # Guards against a copy of a SYN that waited in a slow VM until the others forgot the
 # flow: placed at a second server, it leaves that one's token with the caller.
 def test_a_flow_is_kept_when_a_copy_of_its_syn_is_read_after_it_opened(start):
