--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -202,6 +202,17 @@
             one for one in packets if self._is_server_suspect(one.header, record, now)
         ]
 
+    def start_waiting_probes(self, now: float) -> list[ServerEntry]:
+        """Return the servers to probe now that waited for other probes to end."""
+        entries = []
+        while (token := self.probes.start_waiting(now)) is not None:
+            entry = self.directory.running_entry(token)
+            if entry is not None and entry.token == token:
+                entries.append(entry)
+            else:
+                self.record_probe(token, ProbeResult.NOT_MADE, now)
+        return entries
+
     def route_lost_packet(
         self, header: PacketHeader, token: int, now: float
     ) -> Decision:
@@ -404,7 +415,9 @@
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
         named_token = self._server_token(header, now)
-        entry = self.directory.running_entry(named_token)
+        entry = self.directory.by_token.get(named_token)
+        if entry is not None and entry.ended_at is not None:
+            entry = self.directory.running_entry(named_token)
         if entry is None:
             return HoldForToken(named_token) if named_token else Drop("no-token")
         token = entry.token
@@ -412,12 +425,13 @@
             header.route_address, now - self.settings.removed_route_grace_s
         ):
             return Reset(header.ack_number, "route-removed", token)
-        is_over = self._is_over(entry, now)
-        if is_over and self.directory.is_gone(entry):
-            return self.route_lost_packet(header, token, now)
-        elsewhere = self.lost_flows.find(header, token, now) if is_over else None
-        if elsewhere is not None:
-            return elsewhere
+        is_over = entry.ended_at is not None and self._is_over(entry, now)
+        if is_over:
+            if self.directory.is_gone(entry):
+                return self.route_lost_packet(header, token, now)
+            elsewhere = self.lost_flows.find(header, token, now)
+            if elsewhere is not None:
+                return elsewhere
         if token != named_token:
             self._follow_restart(header, token, now)
         self.load_tracker.record_packet(header, token, now)
@@ -448,10 +462,13 @@
         if flow.token == header.token:
             return header.token
         own_entry = self.directory.running_entry(flow.token)
-        if own_entry is None or self._is_over(own_entry, now):
+        if own_entry is None:
             return header.token
         is_shown = flow.is_confirmed or flow.own_answers > 0
-        if flow.token in flow.tried_tokens or is_shown:
+        if self._is_over(own_entry, now):
+            may_serve = is_shown and not self.directory.is_gone(own_entry)
+            return flow.token if may_serve else header.token
+        if is_shown or flow.token in flow.tried_tokens:
             return flow.token
         named_entry = self.directory.running_entry(header.token)
         if named_entry is not None and self._is_over(named_entry, now):
@@ -488,7 +505,17 @@
     def _decide_without_route(self, header: PacketHeader) -> Decision:
         if not self.route_table.document_number:
             return HoldForServer("no-document")
-        return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-route")
+        return self._refuse(header, "no-route")
+
+    def _refuse(self, header: PacketHeader, reason: str) -> Decision:
+        """Return the decision for a SYN packet that cannot be served.
+
+        A copy of a SYN is dropped: the flow may be open, by way of the VM that got an
+        earlier one.
+        """
+        if header.retransmission_count:
+            return Drop("copy-refused")
+        return Reset(SYN_RESET_SEQUENCE_NUMBER, reason)
 
     def _decide_without_server(
         self, header: PacketHeader, service: ServiceName, now: float
@@ -502,7 +529,7 @@
         waiting_since = self.last_served_at.get(service, self.started_at)
         if waiting_since > now - self.settings.server_wait_s:
             return HoldForServer("no-server-yet")
-        return Reset(SYN_RESET_SEQUENCE_NUMBER, "no-server")
+        return self._refuse(header, "no-server")
 
     def _log_placement(
         self,
