--- a/tests/programs/disturbances.py
+++ b/tests/programs/disturbances.py
@@ -7,6 +7,7 @@
 import os
 import socket
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from random import Random
 
 import odd
@@ -38,6 +39,7 @@
     Attributes:
         faults: How many steps of each kind were carried out.
         violations: What was answered in a way that it must not be.
+        odd_settings_paths: Settings files that are odd just now, by another lane.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self.faults: dict[str, int] = {}
         self.violations: list[str] = []
         self.has_lost_disk = False
+        self.odd_settings_paths: set[Path] = set()
         self.sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sender.bind((programs.ip(240), 0))
         self.sender.setblocking(False)
@@ -156,11 +159,15 @@
         """Change a settings file to something odd, and back."""
         vm = self.any_vm()
         path = self.programs.settings_path(vm)
+        if path in self.odd_settings_paths:
+            return
+        self.odd_settings_paths.add(path)
         sound = path.read_bytes()
         path.write_bytes(odd.odd_settings(self.random, json.loads(sound)))
         await self._hang_up(vm)
         await asyncio.sleep(0.2)
         path.write_bytes(sound)
+        self.odd_settings_paths.discard(path)
         await self._hang_up(vm)
 
     async def hang_up(self) -> None:
