Let two tests of servers that left share how they get there

Cause: two tests of the change opened a flow, had its server leave and took the probe in the same six lines. Change: one function does so for both; assertions stay.

--- a/libs/daemons/tests/test_flows_of_ended_servers.py
+++ b/libs/daemons/tests/test_flows_of_ended_servers.py
@@ -215,15 +215,21 @@
     assert zone.send("e2", data(record, 600)) == []
 
 
-# Guards against a reset of flows of a server whose leave call came and whose
-# acknowledgement was lost: it serves on for some seconds.
-def test_a_server_that_left_and_accepts_connections_keeps_its_flows(zone):
-    record = server("i-1")
+def probe_after_leave(zone, record):
+    """Have a server of an open flow leave; return the probe that its packets start."""
     zone.open_flow(record)
     zone.tell(mark_ended(record))
     zone.wait(2.0)
     assert zone.send("e1", data(record, 600)) == [("i-1", record.token)]
     (probe,) = zone.probes
+    return probe
+
+
+# Guards against a reset of flows of a server whose leave call came and whose
+# acknowledgement was lost: it serves on for some seconds.
+def test_a_server_that_left_and_accepts_connections_keeps_its_flows(zone):
+    record = server("i-1")
+    probe = probe_after_leave(zone, record)
     zone.cores["e1"].probed(probe.token, ProbeResult.ACCEPTED, zone.now)
     assert zone.send("e1", data(record, 700)) == [("i-1", record.token)]
 
@@ -231,10 +237,6 @@
 @pytest.mark.parametrize("result", [ProbeResult.REFUSED, ProbeResult.UNANSWERED])
 def test_a_server_that_left_and_takes_no_connection_is_over(zone, result):
     record = server("i-1")
-    zone.open_flow(record)
-    zone.tell(mark_ended(record))
-    zone.wait(2.0)
-    assert zone.send("e1", data(record, 600)) == [("i-1", record.token)]
-    (probe,) = zone.probes
+    probe = probe_after_leave(zone, record)
     lost = zone.cores["e1"].probed(probe.token, result, zone.now)
     assert zone.carry_out(lost) == [RESET]
