Drop an opening that waited until its caller sent a copy, in place of a reset

Callers saw an open flow reset by a VM that had no server: it held the first SYN until it gave the service up, while the copy that the caller sent 0.2 s later was placed by another VM, where the flow opened.

Cause: the conclusion that the service has no server is that of one VM, and the SYN was judged as if it had just come.

Change: a SYN that has waited here for longer than the caller takes to send a copy is dropped like a copy. One that has waited for less is refused at once, as before (a second test).

--- a/libs/daemons/tests/test_flows_of_ended_servers.py
+++ b/libs/daemons/tests/test_flows_of_ended_servers.py
@@ -240,3 +240,17 @@
     probe = probe_after_leave(zone, record)
     lost = zone.cores["e1"].probed(probe.token, result, zone.now)
     assert zone.carry_out(lost) == [RESET]
+
+
+# Guards against a reset of an open flow by a VM without servers: it held the first SYN
+# until it gave the service up, while a copy opened the flow by way of another VM.
+def test_an_opening_that_waited_for_longer_than_a_copy_takes_is_not_reset():
+    zone = Zone()
+    zone.wait(4.5)
+    assert zone.send("e1", syn(), wait_s=1.3) == []
+
+
+def test_an_opening_that_waited_for_less_is_refused_once_there_is_no_server():
+    zone = Zone()
+    zone.wait(4.9)
+    assert zone.send("e1", syn()) == [RESET]
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -169,7 +169,7 @@
         """
         route = self.route_table.routes.get(header.route_address)
         if route is None:
-            return self._decide_without_route(header)
+            return self._decide_without_route(header, now)
         service = route.select_service(header.flow_key)
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
@@ -277,7 +277,7 @@
     def _route_syn(self, header: PacketHeader, now: float) -> Decision:
         route = self.route_table.routes.get(header.route_address)
         if route is None:
-            return self._decide_without_route(header)
+            return self._decide_without_route(header, now)
         service = route.select_service(header.flow_key)
         flow = self.load_tracker.flow_of_syn(header)
         if flow is not None and flow.is_established:
@@ -502,18 +502,19 @@
         is_cut_off = is_zone_unreachable and is_holder_lost
         return is_cut_off or self.is_known_late(record, now)
 
-    def _decide_without_route(self, header: PacketHeader) -> Decision:
+    def _decide_without_route(self, header: PacketHeader, now: float) -> Decision:
         if not self.route_table.document_number:
             return HoldForServer("no-document")
-        return self._refuse(header, "no-route")
+        return self._refuse(header, "no-route", now)
 
-    def _refuse(self, header: PacketHeader, reason: str) -> Decision:
+    def _refuse(self, header: PacketHeader, reason: str, now: float) -> Decision:
         """Return the decision for a SYN packet that cannot be served.
 
-        A copy of a SYN is dropped: the flow may be open, by way of the VM that got an
-        earlier one.
+        A copy of a SYN is dropped, and so is one that has waited here until its caller
+        sent a copy: the flow may be open, by way of another VM.
         """
-        if header.retransmission_count:
+        is_copied = self.syn_buffer.may_be_placed_elsewhere(header.flow_key, now)
+        if header.retransmission_count or is_copied:
             return Drop("copy-refused")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, reason)
 
@@ -529,7 +530,7 @@
         waiting_since = self.last_served_at.get(service, self.started_at)
         if waiting_since > now - self.settings.server_wait_s:
             return HoldForServer("no-server-yet")
-        return self._refuse(header, "no-server")
+        return self._refuse(header, "no-server", now)
 
     def _log_placement(
         self,
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -115,6 +115,17 @@
                 del self.by_flow[flow_key]
         return list(self.by_flow.values())
 
+    def may_be_placed_elsewhere(self, flow_key: bytes, now: float) -> bool:
+        """Return whether a buffered SYN packet's caller has sent another since.
+
+        That one may have passed another VM, which placed the flow.
+        """
+        packet = self.by_flow.get(flow_key)
+        if packet is None:
+            return False
+        first_sent_at = packet.expires_at - self.settings.caller_syn_timeout_s
+        return now >= first_sent_at + self.settings.syn_transmission_offsets_s[1]
+
     def remove_opened(self, header: PacketHeader) -> None:
         """Remove the SYN packet of the flow of a packet that is no SYN."""
         packet = self.by_flow.get(header.flow_key)
