Join the lists of entry VMs of a zone's control VMs

For a moment an entry VM knew no other, asked nobody where a flow is open, and took itself for the coordinator of all services.

Cause: the word of one control VM, which has heard few, was taken for the whole zone's. Evidence: test_a_control_vm_that_has_just_started_shortens_no_list, which failed before.

--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -98,6 +98,7 @@
         settings: Settings of the follower.
         document: Newest settings document received.
         peers: Entry VMs in this VM's zone, including this one.
+        joined_lists: Lists of control VMs that ``peers`` is made of.
         sources: State of each known control VM, by name.
         listening: Silence that this VM may judge control VMs by. The caller notes its
             looks there; without, this VM is taken to listen all the time.
@@ -111,6 +112,7 @@
         self.is_stopping = False
         self.document = Document()
         self.peers: tuple[VmId, ...] = ()
+        self.joined_lists: list[tuple[VmId, ...]] = []
         self.sources: dict[VmId, SourceState] = {}
         self.listening = Listening(settings.paused_after_s)
         self.in_touch_since = -math.inf
@@ -249,7 +251,7 @@
         for vm in answer.control:
             self.add(vm)
         if answer.zone == self.settings.zone and not self.settings.is_control:
-            self.peers = source.entries
+            self._join_lists(now)
         self._store_document(answer)
 
     def request_all_records(self) -> None:
@@ -303,6 +305,21 @@
         source.unread_document = number
         source.unread_until = now + self.settings.unread_document_retry_s
 
+    def _join_lists(self, now: float) -> None:
+        """Take the entry VMs that any control VM of this zone lists for its own.
+
+        One that has just started lists few.
+        """
+        oldest_allowed = now - self.settings.silent_s
+        lists = [
+            source.entries
+            for source in self.sources.values()
+            if source.zone == self.settings.zone and source.heard_at > oldest_allowed
+        ]
+        if lists != self.joined_lists:
+            self.joined_lists = lists
+            self.peers = tuple(sorted({vm for entries in lists for vm in entries}))
+
     def _is_in_touch(self, now: float) -> bool:
         """Return whether control VMs have been heard for long enough to miss others."""
         in_touch_s = now - self.in_touch_since
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -270,6 +270,17 @@
     assert followers[0].peers == ("e00", "e01", "e02", "e03")
 
 
+# Guards against an entry VM that knows no other for a moment, and asks none: the short
+# list of a control VM that has just started took the place of the other one's.
+def test_a_control_vm_that_has_just_started_shortens_no_list():
+    mine = make_follower(seeds=("c1", "c2"))
+    poll_publisher(mine, full_zone(3)[0], 0.1)
+    poll_publisher(mine, make_publisher("c2"), 0.2)
+    assert mine.peers == ("e00", "e01", "e02", "e1")
+    poll_publisher(mine, make_publisher("c2"), 2.0)
+    assert mine.peers == ("e1",)
+
+
 def test_lists_lost_on_their_way_come_with_the_answer_to_the_next_poll():
     source, followers = full_zone(3)
     followers[2].is_stopping = True
