Say in the line of a reset what the probe told, when, and what was seen since

Cause: a flow-reset line said who holds the server's lease and when a control VM was heard, but not whose word the server's loss was.

Change: four fields. probe and probed_s give the latest probe's result and its age, answered_s the seconds since an acknowledgment of any caller of this VM showed that the server answers, address_of the lifetime with the latest start at its address.

Evidence: test_a_reset_line_names_the_server_and_what_was_heard_of_it.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/contact.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/contact.py
@@ -12,7 +12,7 @@
 from kumquatmux_tokens.router import TokenRouter
 
 NEVER_HEARD_S = -1.0
-"""Stands in lines for the seconds since a control VM was heard that never was."""
+"""Stands in lines for the seconds since something that never was."""
 
 
 class ServerEvidence(TypedDict, total=False):
@@ -24,6 +24,11 @@
         late: Whether any control VM calls it late.
         holder_heard_s: Seconds since this VM heard that control VM.
         control_heard_s: Seconds since this VM heard any control VM.
+        probe: Result of the latest probe of the server.
+        probed_s: Seconds since that result.
+        answered_s: Seconds since an acknowledgment of any caller of this VM showed that
+            the server answers.
+        address_of: Lifetime with the latest start at the server's address.
     """
 
     server: Lifetime
@@ -31,6 +36,10 @@
     late: bool
     holder_heard_s: float
     control_heard_s: float
+    probe: str
+    probed_s: float
+    answered_s: float
+    address_of: Lifetime
 
 
 class ControlContact:
@@ -87,16 +96,24 @@
         sources = self.follower.sources
         holder = sources.get(entry.record.holder)
         heard = [source.heard_at for source in sources.values()]
+        probe = self.router.probes.by_token.get(token)
+        result = probe.result if probe else None
+        load = self.router.load_tracker.local_loads.get(token)
+        claimant = self.router.directory.claimant_of(entry)
         return {
             "server": entry.record.report.lifetime,
             "holder": entry.record.holder,
             "late": entry.record.is_late,
             "holder_heard_s": _seconds_since(holder.heard_at if holder else None, now),
             "control_heard_s": _seconds_since(max(heard, default=None), now),
+            "probe": result.value if result else "",
+            "probed_s": _seconds_since(probe.ended_at if probe else None, now),
+            "answered_s": _seconds_since(load.last_answer_at if load else None, now),
+            "address_of": claimant.record.report.lifetime,
         }
 
 
-def _seconds_since(heard_at: float | None, now: float) -> float:
-    if heard_at is None or heard_at == -math.inf:
+def _seconds_since(time: float | None, now: float) -> float:
+    if time is None or math.isinf(time):
         return NEVER_HEARD_S
-    return round(now - heard_at, 2)
+    return round(now - time, 2)
--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -124,11 +124,15 @@
     listen(core, 3.0, 3.5, "a")
     resets(core, 2.5, 2.8, 3.2)
     core.probed(SERVER.token, ProbeResult.REFUSED, 3.2)
-    (line,) = [fields for event, fields in lines if event == "flow-reset"]
+    resets(core, 3.4)
+    line, later = [fields for event, fields in lines if event == "flow-reset"]
     assert line["server"] == SERVER.report.lifetime
     assert (line["holder"], line["late"]) == ("c2", True)
     assert line["holder_heard_s"] == pytest.approx(0.3)
     assert line["control_heard_s"] < 0.2
+    assert (line["probe"], line["probed_s"]) == ("refused", 0.0)
+    assert later["probed_s"] == pytest.approx(0.2)
+    assert (line["answered_s"], line["address_of"]) == (3.2, SERVER.report.lifetime)
 
 
 # Guards against resets by a VM that stood still and has read no news since.
--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -143,8 +143,12 @@
         Its end alone does not tell: a server whose leave call was not acknowledged
         serves on for a while.
         """
-        claimant_token = self.by_endpoint.get(entry.record.report.endpoint, entry.token)
-        return entry.is_gone or claimant_token != entry.token
+        return entry.is_gone or self.claimant_of(entry).token != entry.token
+
+    def claimant_of(self, entry: ServerEntry) -> ServerEntry:
+        """Return the lifetime with the latest start at an endpoint, itself if none."""
+        token = self.by_endpoint.get(entry.record.report.endpoint, entry.token)
+        return self.by_token.get(token, entry)
 
     def mark_gone(self, token: int) -> None:
         """Note that an ended lifetime accepted no connection, until it is heard of."""
