Have a probe of a server that left count no longer than any other

What callers saw: the server of an open flow had left, got no acknowledgement and served on. One probe of it went unanswered (two lost packets), and each packet of each of its flows was reset from then on, until a record of the server came. None comes of a server that left.

Cause: ServerDirectory.mark_gone noted the result for good, while the result of any other probe holds for 1 s (probe_validity_s). Nothing that a server sends can be heard by a VM but by its callers.

Change: kumquatmux_tokens.gone decides for all ways whether a server is gone, by the probe while it is fresh; the mark is gone. A probe of a former lifetime says nothing of the one that runs now.

Cost: the first caller of a server that is truly gone and silent, after 1.0 s without a packet, waits for a new probe, at most 1.5 s; one whose host refuses waits as long as the refusal takes.

--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -20,7 +20,6 @@
         warm_up_ends_at: Time when its warm-up ends.
         token: Token of the lifetime, kept because hashing it for each candidate of
             each new flow costs more than the rest of the selection.
-        is_gone: Whether it accepted no connection after its end was known.
     """
 
     record: ServerRecord
@@ -28,7 +27,6 @@
     ended_at: float | None
     warm_up_ends_at: float
     token: int
-    is_gone: bool = False
 
 
 class ReadyServers(NamedTuple):
@@ -137,25 +135,15 @@
             return entry
         return latest
 
-    def is_gone(self, entry: ServerEntry) -> bool:
-        """Return whether nothing can serve flows of an ended lifetime any more.
-
-        Its end alone does not tell: a server whose leave call was not acknowledged
-        serves on for a while.
-        """
-        return entry.is_gone or self.claimant_of(entry).token != entry.token
+    def is_replaced(self, entry: ServerEntry) -> bool:
+        """Return whether another lifetime has the address of one."""
+        return self.claimant_of(entry).token != entry.token
 
     def claimant_of(self, entry: ServerEntry) -> ServerEntry:
         """Return the lifetime with the latest start at an endpoint, itself if none."""
         token = self.by_endpoint.get(entry.record.report.endpoint, entry.token)
         return self.by_token.get(token, entry)
 
-    def mark_gone(self, token: int) -> None:
-        """Note that an ended lifetime accepted no connection, until it is heard of."""
-        entry = self.by_token.get(token)
-        if entry is not None and entry.ended_at is not None:
-            self._store(token, entry._replace(is_gone=True))
-
     def remove_ended(self, limit: float) -> None:
         """Remove lifetimes that ended before a given time."""
         for token, entry in list(self.by_token.items()):
--- a/libs/tokens/src/kumquatmux_tokens/lost_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -17,6 +17,7 @@
 from kumquatmux_core.identity import VmId
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.flow_news import FlowNews
+from kumquatmux_tokens.gone import GoneServers
 from kumquatmux_tokens.load import FlowKnowledge, LoadTracker
 from kumquatmux_tokens.packets import (
     AskZone,
@@ -86,6 +87,7 @@
         settings: TokenRouterSettings,
         random: Random,
         directory: ServerDirectory,
+        gone: GoneServers,
         load_tracker: LoadTracker,
         coordinators: CoordinatorSelector,
         recent: RecentPlacements,
@@ -93,6 +95,7 @@
         self.settings = settings
         self.random = random
         self.directory = directory
+        self.gone = gone
         self.load_tracker = load_tracker
         self.coordinators = coordinators
         self.recent = recent
@@ -286,7 +289,7 @@
         confirmed_token = inquiry.knowledge.confirmed_token
         entry = self._server_of(inquiry)
         is_lost = confirmed_token == inquiry.lost_token or (
-            entry is not None and self._is_gone(entry)
+            entry is not None and self._is_gone(entry, now)
         )
         if confirmed_token and is_lost:
             return Reset(header.ack_number, reason, confirmed_token)
@@ -320,8 +323,8 @@
         ]
         return running[0] if len(running) == 1 else None
 
-    def _is_gone(self, entry: ServerEntry) -> bool:
-        return entry.ended_at is not None and self.directory.is_gone(entry)
+    def _is_gone(self, entry: ServerEntry, now: float) -> bool:
+        return entry.ended_at is not None and self.gone.is_gone(entry, now)
 
     def _own_knowledge(
         self, flow_key: bytes, sequence_number: int, now: float
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -12,6 +12,7 @@
 from kumquatmux_tokens.backlog import Backlog
 from kumquatmux_tokens.choice import NewFlow, Selection, select_server
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
+from kumquatmux_tokens.gone import GoneServers
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.lost_flows import LostFlows
 from kumquatmux_tokens.packets import (
@@ -64,6 +65,7 @@
         lost_holders: Control VMs of the zones that nothing has been heard of for long
             enough that a live server would report to another one by now.
         probes: Probes of the servers whose flows may be lost.
+        gone: Tells whether such a server is gone.
         is_known_late: Tells whether the reports of a server stopped, by more than the
             word of a control VM that does not hear the one that they go to.
         listening_since: Time since which this VM has read packets and messages without
@@ -85,10 +87,13 @@
         self.backlog = Backlog(settings)
         self.recent = RecentPlacements(settings)
         self.coordinators = CoordinatorSelector(settings)
+        self.probes = ServerProbes(settings)
+        self.gone = GoneServers(self.directory, self.probes, self.load_tracker)
         self.lost_flows = LostFlows(
             settings,
             random,
             self.directory,
+            self.gone,
             self.load_tracker,
             self.coordinators,
             self.recent,
@@ -99,7 +104,6 @@
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
         self.lost_holders: frozenset[VmId] = frozenset()
-        self.probes = ServerProbes(settings)
         self.is_known_late: Callable[[ServerRecord, float], bool] = _is_called_late
         self.listening_since = now
 
@@ -191,11 +195,9 @@
         """
         packets = self.probes.record(token, result, now, self.listening_since)
         entry = self.directory.running_entry(token)
-        if entry is None:
+        if entry is None or entry.token != token:
             return []
         if self._is_over(entry, now):
-            if self.probes.is_lost(entry.token, now):
-                self.directory.mark_gone(entry.token)
             return packets
         record = entry.record
         return [
@@ -427,7 +429,7 @@
             return Reset(header.ack_number, "route-removed", token)
         is_over = entry.ended_at is not None and self._is_over(entry, now)
         if is_over:
-            if self.directory.is_gone(entry):
+            if self.gone.is_gone(entry, now):
                 return self.route_lost_packet(header, token, now)
             elsewhere = self.lost_flows.find(header, token, now)
             if elsewhere is not None:
@@ -437,7 +439,7 @@
         self.load_tracker.record_packet(header, token, now)
         if not is_over and not self._is_server_suspect(header, entry.record, now):
             return Forward(entry.record, token)
-        if self.directory.is_gone(entry) or self.probes.is_lost(token, now):
+        if self.gone.is_gone(entry, now):
             return self.route_lost_packet(header, token, now)
         return ForwardAndProbe(entry.record, token, self.probes.start(token, now))
 
@@ -466,7 +468,7 @@
             return header.token
         is_shown = flow.is_confirmed or flow.own_answers > 0
         if self._is_over(own_entry, now):
-            may_serve = is_shown and not self.directory.is_gone(own_entry)
+            may_serve = is_shown and not self.gone.is_gone(own_entry, now)
             return flow.token if may_serve else header.token
         if is_shown or flow.token in flow.tried_tokens:
             return flow.token
