Give SYN packets, server selection and load reports modules of their own

`router.py` held three matters besides the routing of open flows by their token: where a SYN packet goes, which server a new flow gets, and which load reports go to other VMs.

Change: a pure move. `syn_router.py` decides about SYN packets and answers to placement requests, `server_selector.py` selects a server, also for other VMs, `load_reporter.py` decides which reports are due. TokenRouter stays the one entrance with the methods it had; its part for packets of open flows is not touched.

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -2,27 +2,23 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from random import Random
 
-from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import ServiceName, VmId
+from kumquatmux_core.identity import VmId
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_tokens.backlog import Backlog
-from kumquatmux_tokens.choice import NewFlow, Selection, select_server
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTracker
+from kumquatmux_tokens.load_reporter import LoadReporter
 from kumquatmux_tokens.lost_flows import LostFlows
 from kumquatmux_tokens.packets import (
     Decision,
     Drop,
     Forward,
     ForwardAndProbe,
-    HoldForServer,
     HoldForToken,
     PacketHeader,
-    RequestPlacement,
     Reset,
 )
 from kumquatmux_tokens.placers import (
@@ -34,11 +30,11 @@
 from kumquatmux_tokens.probes import ProbeResult, ServerProbes
 from kumquatmux_tokens.recent import RecentPlacements
 from kumquatmux_tokens.routes import RouteSet, RouteTable
+from kumquatmux_tokens.server_selector import ServerSelector
 from kumquatmux_tokens.settings import TokenRouterSettings
+from kumquatmux_tokens.syn_router import SynRouter
 from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer, TokenLookupBuffer
-from kumquatmux_tokens.work import LoadShare, OutgoingReports, ServerLoad
-
-SYN_RESET_SEQUENCE_NUMBER = 0
+from kumquatmux_tokens.work import LoadShare
 
 
 class TokenRouter:
@@ -55,12 +51,11 @@
         recent: Servers of the flows that were placed here a short time ago.
         coordinators: Selects the placement coordinator of each service.
         lost_flows: Decides whether flows whose servers seem to be gone are reset.
+        load_reporter: Reports this VM's load to the other VMs of the zone.
         outgoing_reports: State of the load reports to each other VM, by receiver.
-        report_count: Number of load reports sent.
-        reported_at: Time when load reports were last prepared.
+        selector: Selects the servers of new flows.
+        syn_router: Decides what to do with each SYN packet.
         last_served_at: Time when each service last had a server for a flow.
-        last_full_at: Time when another VM last answered that a service's servers are
-            full.
         lost_holders: Control VMs of the zones that nothing has been heard of for long
             enough that a live server would report to another one by now.
         probes: Probes of the servers whose flows may be lost.
@@ -75,7 +70,6 @@
     ) -> None:
         self.settings = settings
         self.random = random
-        self.started_at = now
         self.directory = ServerDirectory(settings.zone)
         self.route_table = RouteTable()
         self.load_tracker = LoadTracker(settings)
@@ -93,11 +87,20 @@
             self.coordinators,
             self.recent,
         )
-        self.outgoing_reports: dict[VmId, OutgoingReports] = {}
-        self.report_count = 0
-        self.reported_at = -math.inf
-        self.last_served_at: dict[ServiceName, float] = {}
-        self.last_full_at: dict[ServiceName, float] = {}
+        self.load_reporter = LoadReporter(
+            settings, self.directory, self.load_tracker, self.coordinators
+        )
+        self.outgoing_reports = self.load_reporter.outgoing_reports
+        self.selector = ServerSelector(settings, random, self.pools, self.recent)
+        self.syn_router = SynRouter(
+            settings,
+            self.route_table,
+            self.syn_buffer,
+            self.selector,
+            self.load_reporter,
+            now,
+        )
+        self.last_served_at = self.syn_router.last_served_at
         self.lost_holders: frozenset[VmId] = frozenset()
         self.probes = ServerProbes(settings)
         self.is_known_late: Callable[[ServerRecord, float], bool] = _is_called_late
@@ -109,7 +112,7 @@
             return self._route_by_token(header, now)
         if self.backlog.is_unread(now):
             return Drop("opening-outdated")
-        return self._route_syn(header, now)
+        return self.syn_router.route(header, now)
 
     def note_pause(self, now: float, gap_s: float) -> None:
         """Note a pause of this VM that has just ended, before packets are routed."""
@@ -129,16 +132,7 @@
         self, question: PlaceQuestion, now: float
     ) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
-        new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
-        selection = self._select_server(question.flow_key, question.service, new_flow)
-        own_vm = self.settings.vm
-        if selection is None:
-            return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
-        token = selection.entry.token
-        if selection.is_full:
-            return PlaceAnswer(own_vm, question.flow_key, token, True, 0)
-        reservation = self.load_tracker.peer_load.reserve(question.sender, token, now)
-        return PlaceAnswer(own_vm, question.flow_key, token, False, reservation.number)
+        return self.selector.answer_request(question, now)
 
     def process_placement_answer(
         self, answer: PlaceAnswer, now: float
@@ -149,37 +143,13 @@
             The buffered SYN packet to forward now, None if there is none whose caller
             still waits or every server is full.
         """
-        self.coordinators.record_answer(answer.sender, answer.flow_key)
-        packet = self.syn_buffer.unexpired_packet(answer.flow_key, now)
-        if packet is None:
-            return None
-        route = self.route_table.routes.get(packet.header.route_address)
-        service = route.select_service(answer.flow_key) if route else ServiceName("")
-        if answer.is_full:
-            self.last_full_at[service] = now
-            return None
-        return packet
+        return self.syn_router.process_answer(answer, now)
 
     def apply_placement_answer(
         self, header: PacketHeader, answer: PlaceAnswer, now: float
     ) -> Decision:
-        """Return the decision for a SYN packet whose server another VM selected.
-
-        If that server is unknown here or accepts no new flows, this VM selects one.
-        """
-        route = self.route_table.routes.get(header.route_address)
-        if route is None:
-            return self._decide_without_route(header)
-        service = route.select_service(header.flow_key)
-        entry = self.directory.accepting_entry(answer.token)
-        if entry is None or entry.record.report.service != service:
-            return self._place_locally(header, service, now)
-        self._reports_to(answer.sender).used_reservation = answer.reservation_number
-        self.load_tracker.has_unreported_change = True
-        self.last_served_at[service] = now
-        self.load_tracker.record_syn(header, answer.token, now)
-        self._log_placement(header, entry, now, placer=answer.sender)
-        return Forward(entry.record, answer.token)
+        """Return the decision for a SYN packet whose server another VM selected."""
+        return self.syn_router.apply_answer(header, answer, now)
 
     def record_probe(
         self, token: int, result: ProbeResult, now: float
@@ -223,44 +193,12 @@
         return self.lost_flows.decide(header, token, reason, now)
 
     def reports_due_at(self) -> float:
-        """Return when load reports are due next, infinity if there is nothing new.
-
-        A change of load is reported after an interval that grows with the zone, which
-        limits what a coordinator receives. Without changes only the complete reports
-        are due, which a VM without any load does not send.
-        """
-        if not self.coordinators.has_other_vms:
-            return math.inf
-        tracker = self.load_tracker
-        if tracker.has_unreported_change:
-            return self.reported_at + self.settings.report_interval_s(
-                len(self.coordinators.entry_vms)
-            )
-        if not self.outgoing_reports:
-            return math.inf
-        return min(one.next_complete_at for one in self.outgoing_reports.values())
+        """Return when load reports are due next, infinity if there is nothing new."""
+        return self.load_reporter.due_at()
 
     def due_load_reports(self, now: float) -> list[tuple[VmId, LoadShare]]:
         """Return the load reports that are due, each with its receiver."""
-        self.reported_at = now
-        self.load_tracker.has_unreported_change = False
-        loads_by_receiver = self._loads_by_receiver(now)
-        due_reports = []
-        for vm in loads_by_receiver.keys() | self.outgoing_reports.keys():
-            if vm not in self.coordinators.entry_vms:
-                self.outgoing_reports.pop(vm, None)
-                continue
-            load_report = self._reports_to(vm).next_report(
-                self.settings.vm,
-                self.report_count + 1,
-                loads_by_receiver.get(vm, []),
-                now,
-                self.settings.complete_report_interval_s,
-            )
-            if load_report is not None:
-                self.report_count += 1
-                due_reports.append((vm, load_report))
-        return due_reports
+        return self.load_reporter.due_reports(now)
 
     def remove_expired(self, now: float) -> None:
         """Remove expired flows, servers, buffered packets and placement requests."""
@@ -274,144 +212,6 @@
         self.lost_flows.remove_expired(now)
         self.coordinators.remove_expired(now)
 
-    def _route_syn(self, header: PacketHeader, now: float) -> Decision:
-        route = self.route_table.routes.get(header.route_address)
-        if route is None:
-            return self._decide_without_route(header)
-        service = route.select_service(header.flow_key)
-        flow = self.load_tracker.flow_of_syn(header)
-        if flow is not None and flow.is_established:
-            return Drop("flow-open")
-        is_too_soon = (
-            flow is not None
-            and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
-        )
-        if flow is not None and header.retransmission_count and not is_too_soon:
-            copy = header.retransmission_count
-            if self.load_tracker.record_unanswered_syn(flow, copy, now):
-                self._log_unanswered_syn(header, flow.token)
-        elif flow is not None:
-            entry = self.directory.running_entry(flow.token)
-            if entry is not None and entry.ended_at is None:
-                return Forward(entry.record, entry.token)
-        tried_tokens = flow.tried_tokens if flow is not None else ()
-        if header.flow_key in self.coordinators.pending_requests:
-            if self.coordinators.is_pending(header.flow_key, now):
-                return HoldForServer("asked")
-            return self._place_locally(header, service, now)
-        coordinator = self.coordinators.coordinator_for(service, now)
-        if coordinator == self.settings.vm:
-            return self._place_locally(header, service, now)
-        if self._is_placement_paused(service, now):
-            return HoldForServer("no-slot")
-        self.coordinators.record_request(coordinator, header.flow_key, now)
-        expects_many_requests = self.load_tracker.expects_many_requests(
-            header.route_address
-        )
-        own_vm = self.settings.vm
-        return RequestPlacement(
-            coordinator,
-            PlaceQuestion(
-                own_vm, header.flow_key, service, tried_tokens, expects_many_requests
-            ),
-        )
-
-    def _place_locally(
-        self, header: PacketHeader, service: ServiceName, now: float
-    ) -> Decision:
-        flow = self.load_tracker.flow_of_syn(header)
-        tried_tokens = flow.tried_tokens if flow is not None else ()
-        new_flow = NewFlow(
-            tried_tokens,
-            self.load_tracker.expects_many_requests(header.route_address),
-            now,
-        )
-        selection = self._select_server(header.flow_key, service, new_flow)
-        if selection is None:
-            return self._decide_without_server(header, service, now)
-        self.last_served_at[service] = now
-        if selection.is_full:
-            return HoldForServer("no-slot")
-        token = selection.entry.token
-        self.load_tracker.record_syn(header, token, now)
-        self._log_placement(
-            header,
-            selection.entry,
-            now,
-            cost=round(selection.cost, 3),
-            candidates=selection.candidate_count,
-            grade=selection.priority_level,
-        )
-        return Forward(selection.entry.record, token)
-
-    def _is_placement_paused(self, service: ServiceName, now: float) -> bool:
-        """Return whether to send no placement request because all servers were full.
-
-        Without this limit, every waiting SYN packet would be sent as a placement
-        request at every tick, and the other VM would do little but refuse them.
-        """
-        since_full_s = now - self.last_full_at.get(service, -math.inf)
-        if since_full_s < self.settings.placement_pause_s:
-            return True
-        is_limited = since_full_s < self.settings.limited_placement_s
-        return (
-            is_limited
-            and len(self.coordinators.pending_requests)
-            >= self.settings.limited_placement_requests
-        )
-
-    def _select_server(
-        self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
-    ) -> Selection | None:
-        recent_entry = self._recent_entry(flow_key, service, new_flow)
-        if recent_entry is not None:
-            return Selection(recent_entry, 0.0, 1, 0, False)
-        pool = self.pools.pool(service)
-        selection = select_server(pool, new_flow, self.load_tracker, self.random)
-        if selection is not None and not selection.is_full:
-            self.recent.record(flow_key, selection.entry.token, new_flow.now)
-        return selection
-
-    def _recent_entry(
-        self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
-    ) -> ServerEntry | None:
-        """Return the server that another copy of a flow's SYN was sent to, if sound."""
-        recent_token = self.recent.token_of(flow_key, new_flow.now)
-        running_entry = self.directory.running_entry(recent_token)
-        token = running_entry.token if running_entry is not None else 0
-        entry = self.directory.accepting_entry(token)
-        if entry is None or token in new_flow.tried_tokens or entry.record.is_late:
-            return None
-        load = self.load_tracker.local_loads.get(token)
-        is_avoided = load is not None and load.avoided_until > new_flow.now
-        is_of_service = entry.record.report.service == service
-        return entry if is_of_service and not is_avoided else None
-
-    def _reports_to(self, vm: VmId) -> OutgoingReports:
-        return self.outgoing_reports.setdefault(vm, OutgoingReports())
-
-    def _loads_by_receiver(self, now: float) -> dict[VmId, list[ServerLoad]]:
-        """Return the load to report to each other VM.
-
-        In a zone with more than ``full_reporting_max_vms`` entry VMs, the load on a
-        server is reported only to the placement coordinator of its service.
-        """
-        loads = self.load_tracker.reportable_loads(now)
-        receivers = [vm for vm in self.coordinators.entry_vms if vm != self.settings.vm]
-        if len(receivers) < self.settings.full_reporting_max_vms:
-            return {vm: loads for vm in receivers}
-        by_receiver: dict[VmId, list[ServerLoad]] = {}
-        for server_load in loads:
-            entry = self.directory.by_token.get(server_load.token)
-            if entry is None:
-                continue
-            coordinator = self.coordinators.coordinator_for(
-                entry.record.report.service, now
-            )
-            if coordinator != self.settings.vm:
-                by_receiver.setdefault(coordinator, []).append(server_load)
-        return by_receiver
-
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
         named_token = self._server_token(header, now)
@@ -502,64 +302,6 @@
         is_cut_off = is_zone_unreachable and is_holder_lost
         return is_cut_off or self.is_known_late(record, now)
 
-    def _decide_without_route(self, header: PacketHeader) -> Decision:
-        if not self.route_table.document_number:
-            return HoldForServer("no-document")
-        return self._refuse(header, "no-route")
-
-    def _refuse(self, header: PacketHeader, reason: str) -> Decision:
-        """Return the decision for a SYN packet that cannot be served.
-
-        A copy of a SYN is dropped: the flow may be open, by way of the VM that got an
-        earlier one.
-        """
-        if header.retransmission_count:
-            return Drop("copy-refused")
-        return Reset(SYN_RESET_SEQUENCE_NUMBER, reason)
-
-    def _decide_without_server(
-        self, header: PacketHeader, service: ServiceName, now: float
-    ) -> Decision:
-        """Return the decision for a SYN packet of a service without servers.
-
-        The packet waits if a server is likely to come while the caller waits, that is,
-        if the service had one, or this VM started, at most ``server_wait_s`` seconds
-        ago. Otherwise the flow is refused at once.
-        """
-        waiting_since = self.last_served_at.get(service, self.started_at)
-        if waiting_since > now - self.settings.server_wait_s:
-            return HoldForServer("no-server-yet")
-        return self._refuse(header, "no-server")
-
-    def _log_placement(
-        self,
-        header: PacketHeader,
-        entry: ServerEntry,
-        now: float,
-        **details: float | str,
-    ) -> None:
-        report = entry.record.report
-        log_decision(
-            "flow-placed",
-            flow=header.flow_key.hex(),
-            copy=header.retransmission_count,
-            document=self.route_table.document_number,
-            service=report.service,
-            server=report.lifetime,
-            token=entry.token,
-            known_s=round(now - entry.first_known_at, 1),
-            **details,
-        )
-
-    def _log_unanswered_syn(self, header: PacketHeader, token: int) -> None:
-        local_load = self.load_tracker.local_load_at(token)
-        log_decision(
-            "server-unanswered",
-            flow=header.flow_key.hex(),
-            token=token,
-            strikes=local_load.unanswered_syns,
-        )
-
 
 def _is_called_late(record: ServerRecord, now: float) -> bool:
     """Return whether any control VM calls a server late."""
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/server_selector.py
@@ -0,0 +1,77 @@
+"""Selection of the server of a new flow, for this VM and for others that ask."""
+
+from __future__ import annotations
+
+from random import Random
+
+from kumquatmux_core.identity import ServiceName
+from kumquatmux_tokens.choice import NewFlow, Selection, select_server
+from kumquatmux_tokens.directory import ServerEntry
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.pools import ServerPools
+from kumquatmux_tokens.recent import RecentPlacements
+from kumquatmux_tokens.settings import TokenRouterSettings
+
+
+class ServerSelector:
+    """Selects the servers of new flows.
+
+    Attributes:
+        pools: Servers of each service that accept new flows.
+        recent: Servers of the flows that were placed here a short time ago.
+    """
+
+    def __init__(
+        self,
+        settings: TokenRouterSettings,
+        random: Random,
+        pools: ServerPools,
+        recent: RecentPlacements,
+    ) -> None:
+        self.settings = settings
+        self.random = random
+        self.pools = pools
+        self.recent = recent
+        self.directory = pools.directory
+        self.load_tracker = pools.load_tracker
+
+    def answer_request(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
+        """Select a server for a flow whose SYN packet arrived at another VM."""
+        new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
+        selection = self.select(question.flow_key, question.service, new_flow)
+        own_vm = self.settings.vm
+        if selection is None:
+            return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
+        token = selection.entry.token
+        if selection.is_full:
+            return PlaceAnswer(own_vm, question.flow_key, token, True, 0)
+        reservation = self.load_tracker.peer_load.reserve(question.sender, token, now)
+        return PlaceAnswer(own_vm, question.flow_key, token, False, reservation.number)
+
+    def select(
+        self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
+    ) -> Selection | None:
+        """Return the server for a flow, None if the service has none to choose."""
+        recent_entry = self._recent_entry(flow_key, service, new_flow)
+        if recent_entry is not None:
+            return Selection(recent_entry, 0.0, 1, 0, False)
+        pool = self.pools.pool(service)
+        selection = select_server(pool, new_flow, self.load_tracker, self.random)
+        if selection is not None and not selection.is_full:
+            self.recent.record(flow_key, selection.entry.token, new_flow.now)
+        return selection
+
+    def _recent_entry(
+        self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
+    ) -> ServerEntry | None:
+        """Return the server that another copy of a flow's SYN was sent to, if sound."""
+        recent_token = self.recent.token_of(flow_key, new_flow.now)
+        running_entry = self.directory.running_entry(recent_token)
+        token = running_entry.token if running_entry is not None else 0
+        entry = self.directory.accepting_entry(token)
+        if entry is None or token in new_flow.tried_tokens or entry.record.is_late:
+            return None
+        load = self.load_tracker.local_loads.get(token)
+        is_avoided = load is not None and load.avoided_until > new_flow.now
+        is_of_service = entry.record.report.service == service
+        return entry if is_of_service and not is_avoided else None
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -0,0 +1,248 @@
+"""Routing of SYN packets, each of which opens a flow or is a copy of one that does."""
+
+from __future__ import annotations
+
+import math
+
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import ServiceName
+from kumquatmux_tokens.choice import NewFlow
+from kumquatmux_tokens.directory import ServerEntry
+from kumquatmux_tokens.load_reporter import LoadReporter
+from kumquatmux_tokens.packets import (
+    Decision,
+    Drop,
+    Forward,
+    HoldForServer,
+    PacketHeader,
+    RequestPlacement,
+    Reset,
+)
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.routes import RouteTable
+from kumquatmux_tokens.server_selector import ServerSelector
+from kumquatmux_tokens.settings import TokenRouterSettings
+from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer
+
+SYN_RESET_SEQUENCE_NUMBER = 0
+
+
+class SynRouter:
+    """Decides what to do with each SYN packet.
+
+    Attributes:
+        route_table: Routes in force.
+        syn_buffer: SYN packets that are buffered until a server can take their flow.
+        selector: Selects a server if this VM places the flow.
+        load_reporter: Reports the use of reservations.
+        last_served_at: Time when each service last had a server for a flow.
+        last_full_at: Time when another VM last answered that a service's servers are
+            full.
+    """
+
+    def __init__(
+        self,
+        settings: TokenRouterSettings,
+        route_table: RouteTable,
+        syn_buffer: SynBuffer,
+        selector: ServerSelector,
+        load_reporter: LoadReporter,
+        now: float,
+    ) -> None:
+        self.settings = settings
+        self.started_at = now
+        self.route_table = route_table
+        self.syn_buffer = syn_buffer
+        self.selector = selector
+        self.load_reporter = load_reporter
+        self.directory = selector.directory
+        self.load_tracker = selector.load_tracker
+        self.coordinators = load_reporter.coordinators
+        self.last_served_at: dict[ServiceName, float] = {}
+        self.last_full_at: dict[ServiceName, float] = {}
+
+    def route(self, header: PacketHeader, now: float) -> Decision:
+        """Return the decision for a SYN packet."""
+        route = self.route_table.routes.get(header.route_address)
+        if route is None:
+            return self._decide_without_route(header)
+        service = route.select_service(header.flow_key)
+        flow = self.load_tracker.flow_of_syn(header)
+        if flow is not None and flow.is_established:
+            return Drop("flow-open")
+        is_too_soon = (
+            flow is not None
+            and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
+        )
+        if flow is not None and header.retransmission_count and not is_too_soon:
+            copy = header.retransmission_count
+            if self.load_tracker.record_unanswered_syn(flow, copy, now):
+                self._log_unanswered_syn(header, flow.token)
+        elif flow is not None:
+            entry = self.directory.running_entry(flow.token)
+            if entry is not None and entry.ended_at is None:
+                return Forward(entry.record, entry.token)
+        tried_tokens = flow.tried_tokens if flow is not None else ()
+        if header.flow_key in self.coordinators.pending_requests:
+            if self.coordinators.is_pending(header.flow_key, now):
+                return HoldForServer("asked")
+            return self._place_locally(header, service, now)
+        coordinator = self.coordinators.coordinator_for(service, now)
+        if coordinator == self.settings.vm:
+            return self._place_locally(header, service, now)
+        if self._is_placement_paused(service, now):
+            return HoldForServer("no-slot")
+        self.coordinators.record_request(coordinator, header.flow_key, now)
+        expects_many_requests = self.load_tracker.expects_many_requests(
+            header.route_address
+        )
+        own_vm = self.settings.vm
+        return RequestPlacement(
+            coordinator,
+            PlaceQuestion(
+                own_vm, header.flow_key, service, tried_tokens, expects_many_requests
+            ),
+        )
+
+    def process_answer(self, answer: PlaceAnswer, now: float) -> BufferedPacket | None:
+        """Process the answer to a placement request.
+
+        Returns:
+            The buffered SYN packet to forward now, None if there is none whose caller
+            still waits or every server is full.
+        """
+        self.coordinators.record_answer(answer.sender, answer.flow_key)
+        packet = self.syn_buffer.unexpired_packet(answer.flow_key, now)
+        if packet is None:
+            return None
+        route = self.route_table.routes.get(packet.header.route_address)
+        service = route.select_service(answer.flow_key) if route else ServiceName("")
+        if answer.is_full:
+            self.last_full_at[service] = now
+            return None
+        return packet
+
+    def apply_answer(
+        self, header: PacketHeader, answer: PlaceAnswer, now: float
+    ) -> Decision:
+        """Return the decision for a SYN packet whose server another VM selected.
+
+        If that server is unknown here or accepts no new flows, this VM selects one.
+        """
+        route = self.route_table.routes.get(header.route_address)
+        if route is None:
+            return self._decide_without_route(header)
+        service = route.select_service(header.flow_key)
+        entry = self.directory.accepting_entry(answer.token)
+        if entry is None or entry.record.report.service != service:
+            return self._place_locally(header, service, now)
+        self.load_reporter.reports_to(
+            answer.sender
+        ).used_reservation = answer.reservation_number
+        self.load_tracker.has_unreported_change = True
+        self.last_served_at[service] = now
+        self.load_tracker.record_syn(header, answer.token, now)
+        self._log_placement(header, entry, now, placer=answer.sender)
+        return Forward(entry.record, answer.token)
+
+    def _place_locally(
+        self, header: PacketHeader, service: ServiceName, now: float
+    ) -> Decision:
+        flow = self.load_tracker.flow_of_syn(header)
+        tried_tokens = flow.tried_tokens if flow is not None else ()
+        new_flow = NewFlow(
+            tried_tokens,
+            self.load_tracker.expects_many_requests(header.route_address),
+            now,
+        )
+        selection = self.selector.select(header.flow_key, service, new_flow)
+        if selection is None:
+            return self._decide_without_server(header, service, now)
+        self.last_served_at[service] = now
+        if selection.is_full:
+            return HoldForServer("no-slot")
+        token = selection.entry.token
+        self.load_tracker.record_syn(header, token, now)
+        self._log_placement(
+            header,
+            selection.entry,
+            now,
+            cost=round(selection.cost, 3),
+            candidates=selection.candidate_count,
+            grade=selection.priority_level,
+        )
+        return Forward(selection.entry.record, token)
+
+    def _is_placement_paused(self, service: ServiceName, now: float) -> bool:
+        """Return whether to send no placement request because all servers were full.
+
+        Without this limit, every waiting SYN packet would be sent as a placement
+        request at every tick, and the other VM would do little but refuse them.
+        """
+        since_full_s = now - self.last_full_at.get(service, -math.inf)
+        if since_full_s < self.settings.placement_pause_s:
+            return True
+        is_limited = since_full_s < self.settings.limited_placement_s
+        return (
+            is_limited
+            and len(self.coordinators.pending_requests)
+            >= self.settings.limited_placement_requests
+        )
+
+    def _decide_without_route(self, header: PacketHeader) -> Decision:
+        if not self.route_table.document_number:
+            return HoldForServer("no-document")
+        return self._refuse(header, "no-route")
+
+    def _refuse(self, header: PacketHeader, reason: str) -> Decision:
+        """Return the decision for a SYN packet that cannot be served.
+
+        A copy of a SYN is dropped: the flow may be open, by way of the VM that got an
+        earlier one.
+        """
+        if header.retransmission_count:
+            return Drop("copy-refused")
+        return Reset(SYN_RESET_SEQUENCE_NUMBER, reason)
+
+    def _decide_without_server(
+        self, header: PacketHeader, service: ServiceName, now: float
+    ) -> Decision:
+        """Return the decision for a SYN packet of a service without servers.
+
+        The packet waits if a server is likely to come while the caller waits, that is,
+        if the service had one, or this VM started, at most ``server_wait_s`` seconds
+        ago. Otherwise the flow is refused at once.
+        """
+        waiting_since = self.last_served_at.get(service, self.started_at)
+        if waiting_since > now - self.settings.server_wait_s:
+            return HoldForServer("no-server-yet")
+        return self._refuse(header, "no-server")
+
+    def _log_placement(
+        self,
+        header: PacketHeader,
+        entry: ServerEntry,
+        now: float,
+        **details: float | str,
+    ) -> None:
+        report = entry.record.report
+        log_decision(
+            "flow-placed",
+            flow=header.flow_key.hex(),
+            copy=header.retransmission_count,
+            document=self.route_table.document_number,
+            service=report.service,
+            server=report.lifetime,
+            token=entry.token,
+            known_s=round(now - entry.first_known_at, 1),
+            **details,
+        )
+
+    def _log_unanswered_syn(self, header: PacketHeader, token: int) -> None:
+        local_load = self.load_tracker.local_load_at(token)
+        log_decision(
+            "server-unanswered",
+            flow=header.flow_key.hex(),
+            token=token,
+            strikes=local_load.unanswered_syns,
+        )
