Split the entry VM's core by what it decides

`token_entry/core.py` carried out decisions about packets, took the messages of other VMs, placed the SYN packets that wait and contained errors, beside what is due when: 517 lines. `tick` and `_merge_one` had the same loop over packets that were held.

Change: a pure move. `packet_effects.py` carries out decisions about packets, `packet_routing.py` has packets routed (`route_held` serves both places that had the loop), `waiting_syns.py` tries the SYN packets that wait, `peer_messages.py` takes messages, `containment.py` contains errors; they share `CoreParts`. The two singledispatchmethods are bound once, as before. One test imports RETRY_S from its new module; no test is changed otherwise. The entry core's tests, test_silent_servers, test_flows_of_ended_servers, test_intake, test_entry_loop, test_entry_traffic, test_flow_world, test_token_load, test_outer_names and test_recorded_bytes pass, as do ruff and mypy.

--- /dev/null
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/peer_messages.py
@@ -0,0 +1,171 @@
+"""What follows from the messages of other VMs."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Any
+
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_daemons.token_entry.containment import Containment
+from kumquatmux_daemons.token_entry.effects import Effect, Sent
+from kumquatmux_daemons.token_entry.packet_routing import PacketRouting
+from kumquatmux_daemons.token_entry.parts import CoreParts
+from kumquatmux_daemons.token_entry.waiting_syns import WaitingSyns
+from kumquatmux_registry.feed import FeedAnswer
+from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
+from kumquatmux_registry.records import ServerRecord
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.questions import (
+    FlowAnswer,
+    FlowNewsQuestion,
+    FlowOpened,
+    FlowQuestion,
+)
+from kumquatmux_tokens.routes import RouteSet
+from kumquatmux_tokens.work import LoadShare
+
+
+class PeerMessages:
+    """Takes the messages of other VMs.
+
+    Attributes:
+        routing: Routes packets that waited for what a message brings.
+        waiting: SYN packets that wait.
+        containment: Keeps an error about one record from the others.
+        has_asked_for_news: Whether VMs of the zone were asked for news of flows.
+    """
+
+    def __init__(
+        self,
+        parts: CoreParts,
+        routing: PacketRouting,
+        waiting: WaitingSyns,
+        containment: Containment,
+    ) -> None:
+        self.parts = parts
+        self.router = parts.router
+        self.follower = parts.follower
+        self.counts = parts.counts
+        self.routing = routing
+        self.waiting = waiting
+        self.containment = containment
+        self.has_asked_for_news = False
+        # Bound once: binding such a method anew costs more than most of its calls.
+        self.handle = self._handle
+
+    @singledispatchmethod
+    def _handle(self, message: Any, now: float) -> list[Effect]:
+        self.counts["messages.unexpected"] += 1
+        log_decision("message-unexpected", message=type(message).__name__)
+        return []
+
+    @_handle.register
+    def _(self, message: FeedAnswer, now: float) -> list[Effect]:
+        routes = self._read_document(message, now)
+        taken = message if routes is not None else message._replace(content=b"")
+        self.follower.take(taken, now)
+        self.router.coordinators.set_entry_vms(self.follower.peers)
+        self.parts.contact.note_answer(message.sender, now)
+        if routes is not None:
+            self.router.install_routes(routes, now)
+            if self.parts.table.name_services(routes.services):
+                self.follower.request_all_records()
+        effects = self._merge(message.records, now)
+        if message.records or routes is not None:
+            effects += self.waiting.try_again(now)
+        effects += self._ask_for_news()
+        poll = self.follower.poll_after(message, now)
+        if poll is not None:
+            effects.append(Sent(message.sender, poll))
+        return effects
+
+    @_handle.register
+    def _(self, message: LoadShare, now: float) -> list[Effect]:
+        self.router.load_tracker.peer_load.apply_report(message, now)
+        return []
+
+    @_handle.register
+    def _(self, message: PlaceQuestion, now: float) -> list[Effect]:
+        return [
+            Sent(message.sender, self.router.answer_placement_request(message, now))
+        ]
+
+    @_handle.register
+    def _(self, message: PlaceAnswer, now: float) -> list[Effect]:
+        held = self.router.process_placement_answer(message, now)
+        if held is None:
+            return []
+        decision = self.router.apply_placement_answer(held.header, message, now)
+        effects = self.waiting.release(decision, held, now)
+        return effects + self.waiting.try_again(now)
+
+    @_handle.register
+    def _(self, message: TokenQuestion, now: float) -> list[Effect]:
+        entry = self.router.directory.by_token.get(message.token)
+        if entry is None:
+            return []
+        return [Sent(message.sender, TokenAnswer(self.parts.settings.vm, entry.record))]
+
+    @_handle.register
+    def _(self, message: TokenAnswer, now: float) -> list[Effect]:
+        return self._merge((message.record,), now)
+
+    @_handle.register
+    def _(self, message: FlowQuestion, now: float) -> list[Effect]:
+        answer = self.router.lost_flows.answer(message, now)
+        return [] if answer is None else [Sent(message.sender, answer)]
+
+    @_handle.register
+    def _(self, message: FlowAnswer, now: float) -> list[Effect]:
+        held = self.router.lost_flows.record_answer(message)
+        return [] if held is None else self.routing.route(held.header, held.data, now)
+
+    @_handle.register
+    def _(self, message: FlowOpened, now: float) -> list[Effect]:
+        self.router.lost_flows.news.record(message, now)
+        return []
+
+    @_handle.register
+    def _(self, message: FlowNewsQuestion, now: float) -> list[Effect]:
+        latest = self.router.lost_flows.latest_news()
+        return [Sent(message.sender, opened) for opened in latest]
+
+    def _ask_for_news(self) -> list[Effect]:
+        """Ask some VMs of the zone for news of flows, once any is known."""
+        asked = self.parts.select_peers()
+        if self.has_asked_for_news or not asked:
+            return []
+        self.has_asked_for_news = True
+        return [
+            Sent(vm, FlowNewsQuestion(self.parts.settings.vm)) for vm in sorted(asked)
+        ]
+
+    def _read_document(self, answer: FeedAnswer, now: float) -> RouteSet | None:
+        """Return the routes of a newer document, None if there is none to read.
+
+        The routes in force stay while a document cannot be read.
+        """
+        if not answer.content or answer.document <= self.follower.document.number:
+            return None
+        routes = self.parts.format.read_routes(answer.content)
+        if routes.is_ok():
+            return routes.ok
+        log_decision("document-unread", problem=routes.error)
+        self.counts["documents.unread"] += 1
+        self.follower.postpone_document(answer.sender, answer.document, now)
+        return None
+
+    def _merge(self, records: tuple[ServerRecord, ...], now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for record in records:
+            if not self.parts.format.names_server(record.report.lifetime.name):
+                self.counts["records.unnamed"] += 1
+                log_decision("record-unnamed", server=record.report.lifetime)
+                continue
+            effects += self.containment.run("record", self._merge_one, record, now)
+        return effects
+
+    def _merge_one(self, record: ServerRecord, now: float) -> list[Effect]:
+        if not self.parts.table.merge(record, now):
+            return []
+        return self.routing.route_held(self.router.store_record(record, now), now)
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -8,9 +8,10 @@
 
 from kumquatmux_core.identity import Address, Endpoint
 from kumquatmux_core.problems import Problem
-from kumquatmux_daemons.token_entry.core import RETRY_S, EntryCore
+from kumquatmux_daemons.token_entry.core import EntryCore
 from kumquatmux_daemons.token_entry.effects import Datagram, Probe, Sent
 from kumquatmux_daemons.token_entry.settings import EntrySettings
+from kumquatmux_daemons.token_entry.waiting_syns import RETRY_S
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
