Have a refusal say nothing of a server whose zone is silent

What callers saw: a zone was cut off by what refuses connections, or resets them.

Cause: nothing heard of the zone and its control VMs, and a caller without answers, are one piece of evidence: the cut. The probe was to be the other one; but the cut answers it, too. A lost zone refuses nothing, so that a refusal speaks for a cut.

Change: while a server's zone is silent (1.2 s), a refused probe counts as not made. Its flows go on; the probe is made again after 1.0 s. A probe that is unanswered counts as before.

Weighed: two refusals that span the cut (a cut lasts as long as it likes), no reset at all of a zone that is cut off (its callers wait out their budgets where it was lost), the refusing host's answers to others (71 VMs see a flow or two each). A refusal in a zone that is heard counts as before, also under a cut of one machine, as it is all that tells a crashed server from a slow one.

Cost: a caller at a zone behind a cut that answers waits out its time budget, or the cut, instead of a reset after 0.6 s; the same where the zone's control VMs are lost and a server crashes before its records name another holder.

--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -191,10 +191,14 @@
         """Record the result of a probe; return the packets of flows that are lost.
 
         A flow is not lost if an answer, or better news of its server, arrived while the
-        server was probed.
+        server was probed. A refusal says nothing of a server whose zone is silent: what
+        cuts that off may have answered.
         """
-        packets = self.probes.record(token, result, now, self.listening_since)
         entry = self.directory.running_entry(token)
+        if result == ProbeResult.REFUSED and entry is not None:
+            is_cut_off = entry.record.report.zone in self.load_tracker.unreachable_zones
+            result = ProbeResult.NOT_MADE if is_cut_off else result
+        packets = self.probes.record(token, result, now, self.listening_since)
         if entry is None or entry.token != token:
             return []
         if not self.gone.is_lost(entry, now):
