Ask again for a reset connection before a probe's next request is due

Cause: the request at 0.2 s and the one after a reset, 0.2 s after the first, were due at the same instant, and trio draws the order of tasks. A reset twice in a row was then told from an unanswered request by luck. Change: a reset connection is asked for again after 0.1 s.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/probing.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/probing.py
@@ -10,10 +10,13 @@
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_tokens.probes import ProbeResult
 
-RESET_PAUSE_S = 0.2
+RESET_PAUSE_S = 0.1
 
 REQUEST_TIMES_S = (0.0, 0.2, 0.4)
-"""Seconds after a probe's start at which a connection is asked for."""
+"""Seconds after a probe's start at which a connection is asked for.
+
+None is when a reset connection is asked for once more, so that the order is fixed.
+"""
 
 RESULT_BY_ERROR = {
     0: ProbeResult.ACCEPTED,
