Count an answer that a request acknowledges from the packet before it

Cause: a request acknowledges answers that came since its flow's packet before, at any time. It was taken for an answer of the moment, which voided the probe for all flows of the server.

Change: it shows an answer after the flow's packet before; a probe that began by then is void. The packet itself is still not reset.

Tests: test_flow_whose_server_answers_another_caller_during_a_probe_is_not_reset took a request whose answer may have come before the probe; the test in its place has both cases, one with a packet during the probe, which is not reset, and that one, which is. answered_s of a reset line is the time for sure, 3.2 s in its test.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/contact.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/contact.py
@@ -108,7 +108,7 @@
             "control_heard_s": _seconds_since(max(heard, default=None), now),
             "probe": result.value if result else "",
             "probed_s": _seconds_since(probe.ended_at if probe else None, now),
-            "answered_s": _seconds_since(load.acknowledged_at if load else None, now),
+            "answered_s": _seconds_since(load.answered_at if load else None, now),
             "address_of": claimant.record.report.lifetime,
         }
 
--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -132,7 +132,7 @@
     assert line["control_heard_s"] < 0.2
     assert (line["probe"], line["probed_s"]) == ("refused", 0.0)
     assert later["probed_s"] == pytest.approx(0.2)
-    assert line["answered_s"] == pytest.approx(0.7)
+    assert line["answered_s"] == pytest.approx(3.2)
     assert line["address_of"] == SERVER.report.lifetime
 
 
--- a/libs/tokens/src/kumquatmux_tokens/gone.py
+++ b/libs/tokens/src/kumquatmux_tokens/gone.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import PacketHeader
@@ -59,7 +61,9 @@
     def is_lost(self, entry: ServerEntry, now: float) -> bool:
         """Return whether a server took no connection, and has not answered since."""
         probe = self.probes.lost_probe(entry.token, now)
-        return probe is not None and not self._is_heard(entry, probe.started_at)
+        if probe is None or entry.reported_at > probe.started_at:
+            return False
+        return self._answered_at(entry) < probe.started_at
 
     def _is_replaced(self, entry: ServerEntry) -> bool:
         """Return whether another server is in use at the address of one.
@@ -72,11 +76,10 @@
         if claimant.token == entry.token:
             return False
         is_in_use = claimant.ended_at is None and not claimant.record.is_late
-        return is_in_use and not self._is_heard(entry, claimant.reported_at)
+        heard_at = max(entry.reported_at, self._answered_at(entry))
+        return is_in_use and heard_at <= claimant.reported_at
 
-    def _is_heard(self, entry: ServerEntry, since: float) -> bool:
-        """Return whether a server reported or answered a caller after a time."""
+    def _answered_at(self, entry: ServerEntry) -> float:
+        """Return a time after which a server has answered a caller of this VM."""
         load = self.load_tracker.local_loads.get(entry.token)
-        if load is not None and max(load.last_answer_at, load.acknowledged_at) > since:
-            return True
-        return entry.reported_at > since
+        return load.answered_at if load is not None else -math.inf
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -151,8 +151,9 @@
         unanswered_syns: Consecutive SYN packets that the server left unanswered.
         avoided_until: Time until which new flows go to other servers if possible.
         last_answer_at: Time of the latest evidence that the server answers.
-        acknowledged_at: Time of the latest packet that acknowledged more than its flow
-            did before; a request acknowledges answers that may be old.
+        acknowledged_at: Time after which the server answered for sure: that of the
+            packet before one that acknowledged more. A request acknowledges answers
+            that may be as old.
     """
 
     __slots__ = (
@@ -172,6 +173,11 @@
         self.last_answer_at = -math.inf
         self.acknowledged_at = -math.inf
 
+    @property
+    def answered_at(self) -> float:
+        """Time after which the server has answered a caller of this VM."""
+        return max(self.last_answer_at, self.acknowledged_at)
+
 
 class LoadTracker:
     """Flows through this VM and the load on each server.
@@ -387,6 +393,7 @@
             flow.next_sequence_number = header.sequence_number
             flow.has_sent_request = True
             self._count_open_flow(token, 1)
+        previous_packet_at = flow.last_packet_at
         flow.last_packet_at = now
         if not flow.is_established:
             _count_answers(flow, header)
@@ -396,7 +403,8 @@
             return
         is_answered = _is_sequence_after(header.ack_number, flow.baseline_ack_number)
         if is_answered:
-            self.local_load_at(flow.token).acknowledged_at = now
+            load = self.local_load_at(flow.token)
+            load.acknowledged_at = max(load.acknowledged_at, previous_packet_at)
         if header.payload_length and _is_sequence_after(
             header.sequence_number + header.payload_length, flow.next_sequence_number
         ):
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -400,17 +400,22 @@
 
 
 # Guards against a reset of a flow whose server answered another caller while it was
-# probed, which that caller's next request shows.
-def test_flow_whose_server_answers_another_caller_during_a_probe_is_not_reset():
+# probed, which that caller's next request shows; and against callers of a server that
+# is gone who wait as another's request acknowledges an answer of before.
+@pytest.mark.parametrize("asked_s", [0.0, 0.65])
+def test_a_next_request_shows_an_answer_as_old_as_the_packet_before(asked_s):
     record = make_server_record("i-1")._replace(doubts=1)
     router = make_router(record)
     token = record.token
     router.route_packet(make_data_packet(token, caller=2), NOW_S)
     retransmit(router, token)
     router.probes.hold(make_data_packet(token), b"", token, NOW_S + 0.6)
+    copy = make_data_packet(token, caller=2)
+    router.route_packet(copy, NOW_S + asked_s)
     next_request = make_data_packet(token, caller=2, sequence=110, acknowledged=900)
     router.route_packet(next_request, NOW_S + 0.7)
-    assert router.record_probe(token, ProbeResult.UNANSWERED, NOW_S + 2.1) == []
+    lost = router.record_probe(token, ProbeResult.UNANSWERED, NOW_S + 2.1)
+    assert bool(lost) == (asked_s == 0.0)
 
 
 # Guards against the loss of one control VM that is taken for the loss of its zone.
