Have a probe that met a cut speak against no server once its zone is heard

All servers live.

Cause: a probe that began in the cut timed out after it, and its result was judged by when it ended.

Change: a zone that is heard again after a silence voids the probes that began before (GoneServers.zones_heard_at).

Evidence: test_a_probe_that_met_a_cut_is_void_once_the_zone_is_heard[9.4] failed before; its other case wants the reset while the zone stays silent.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/contact.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/contact.py
@@ -78,7 +78,7 @@
         silent = self.follower.silent_zones(now) - {own_zone}
         if silent != self.router.load_tracker.unreachable_zones:
             log_decision("zones-silent", zones=",".join(sorted(silent)))
-        self.router.load_tracker.unreachable_zones = silent
+        self.router.gone.note_silent_zones(silent, now)
         self.router.lost_holders = self.follower.lost_vms(now)
 
     def note_feed(self, now: float) -> None:
--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -14,6 +14,7 @@
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
+from kumquatmux_registry.table import mark_ended
 from kumquatmux_tokens.load import PROVING_ANSWERS
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.probes import ProbeResult
@@ -200,6 +201,20 @@
     assert resets(core, 9.7, 9.8) == []
 
 
+# Guards against a reset for a cut that has healed: the probe met the cut, and ended
+# after the server's zone was heard again.
+@pytest.mark.parametrize("heard_at", [9.4, None])
+def test_a_probe_that_met_a_cut_is_void_once_the_zone_is_heard(core, heard_at):
+    listen(core, 0.0, 2.0, "a", "b")
+    core.message("c1", answer("a", mark_ended(SERVER)), 2.0)
+    listen(core, 2.0, 9.0, "a")
+    resets(core, 9.0, 9.2)
+    if heard_at is not None:
+        hear(core, heard_at, "b")
+    unanswered = core.probed(SERVER.token, ProbeResult.UNANSWERED, 9.5)
+    assert bool(resets_among(unanswered)) == (heard_at is None)
+
+
 @pytest.fixture
 def busy_core(core):
     """An entry VM of one probe at once, which has one of another server in progress."""
--- a/libs/tokens/src/kumquatmux_tokens/gone.py
+++ b/libs/tokens/src/kumquatmux_tokens/gone.py
@@ -4,6 +4,7 @@
 
 import math
 
+from kumquatmux_core.identity import ZoneName
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import PacketHeader
@@ -20,7 +21,8 @@
     Attributes:
         directory: Known servers, one of which may have another one's address.
         probes: Whether servers took a connection.
-        load_tracker: When servers answered callers.
+        load_tracker: When servers answered callers, and which zones are silent.
+        zones_heard_at: Time at which each zone was heard again after a silence.
     """
 
     def __init__(
@@ -32,6 +34,13 @@
         self.directory = directory
         self.probes = probes
         self.load_tracker = load_tracker
+        self.zones_heard_at: dict[ZoneName, float] = {}
+
+    def note_silent_zones(self, zones: frozenset[ZoneName], now: float) -> None:
+        """Note which other zones are silent now."""
+        for zone in self.load_tracker.unreachable_zones - zones:
+            self.zones_heard_at[zone] = now
+        self.load_tracker.unreachable_zones = zones
 
     def is_flow_lost(
         self, header: PacketHeader, entry: ServerEntry, now: float
@@ -59,11 +68,15 @@
         )
 
     def is_lost(self, entry: ServerEntry, now: float) -> bool:
-        """Return whether a server took no connection, and has not answered since."""
+        """Return whether a server took no connection, and nothing speaks for it since.
+
+        A cut that has healed since may be all that the probe met.
+        """
         probe = self.probes.lost_probe(entry.token, now)
         if probe is None or entry.reported_at > probe.started_at:
             return False
-        return self._answered_at(entry) < probe.started_at
+        zone_heard_at = self.zones_heard_at.get(entry.record.report.zone, -math.inf)
+        return max(self._answered_at(entry), zone_heard_at) < probe.started_at
 
     def _is_replaced(self, entry: ServerEntry) -> bool:
         """Return whether another server is in use at the address of one.
