Test flows of a living server against anything that may be said of it

A state machine has a server called over, probed with any result, late, replaced at its address and called on time again in any order, while it answers a caller. No reset may rest on what is older than the latest answer; once the server is gone, a reset comes within two probes.

--- a/libs/daemons/tests/flow_world.py
+++ b/libs/daemons/tests/flow_world.py
@@ -501,6 +501,7 @@
         self.events = []
         self.numbers = count()
         self.loss = 0.0
+        self.are_probes_lost = False
         self.ack_share = 0.5
         self.running = ""
         self.history = {}
@@ -622,6 +623,7 @@
     def probe(self, vm, effect):
         server = self.at_endpoint[effect.endpoint]
         is_lost = vm.name in server.lost_paths or server.paused_until > self.now
+        is_lost |= self.are_probes_lost
         result = ProbeResult.ACCEPTED if server.is_up else ProbeResult.REFUSED
         if is_lost:
             result = ProbeResult.UNANSWERED
--- a/libs/daemons/tests/test_flow_world.py
+++ b/libs/daemons/tests/test_flow_world.py
@@ -446,3 +446,21 @@
     world.run(11.0)
     assert server.is_up
     assert counted(world) == []
+
+
+# Guards against the same where each probe of the server goes unanswered, while its
+# flows are served.
+def test_a_flow_is_kept_while_probes_of_a_server_that_has_left_are_lost(start):
+    world = start(1, servers=1)
+    world.are_probes_lost = True
+    world.run(2.0)
+    for _ in range(20):
+        world.add_caller(2.2, *[0.7] * 9)
+    world.run(3.0)
+    (server,) = world.servers
+    server.drain(1.0, 8.0)
+    world.run(4.05)
+    server.phase = Phase.READY
+    world.run(11.0)
+    assert server.is_up
+    assert counted(world) == []
--- a/libs/daemons/tests/test_flows_of_ended_servers.py
+++ b/libs/daemons/tests/test_flows_of_ended_servers.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 import pytest
 from expression import Ok
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from kumquatmux_core.identity import Address, Endpoint
 from kumquatmux_daemons.token_entry.core import EntryCore
@@ -14,6 +18,7 @@
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_registry.table import mark_ended
+from kumquatmux_tokens.load import PROVING_ANSWERS
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.probes import ProbeResult
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
@@ -319,3 +324,122 @@
     zone.wait(2.0)
     assert zone.send("e1", data(record, acknowledged)) == [("i-1", record.token)]
     assert [one.endpoint for one in zone.probes] == [record.report.endpoint]
+
+
+class LivingServer(RuleBasedStateMachine):
+    """A server that answers a flow's caller, whatever is said of it.
+
+    Attributes:
+        answered_at: Time of the latest packet that acknowledged more.
+        lost_since: Times of probes that were not accepted, by the time of the result.
+        claimed_at: Time of the latest record of another server at the address, minus
+            infinity if the server reported since, or the other one is late.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.zone = Zone()
+        self.number = 1
+        self.claimants = 1
+        self.acknowledged = 500
+        self.sequence = 101
+        self.claimed_at = -math.inf
+        self.answered_at = 0.0
+        self.lost_since = {}
+        self.probes = []
+        self.zone.tell(server("i-1"))
+        self.zone.wait(1.0)
+        self.zone.open_flow(server("i-1"))
+
+    def send(self):
+        packet = data(server("i-1"), self.acknowledged, self.sequence)
+        self.take(self.zone.cores["e1"].packet(packet, self.zone.now))
+
+    def take(self, effects):
+        known = len(self.zone.probes)
+        if RESET in self.zone.carry_out(effects):
+            self.was_reset = True
+            self.check_reset()
+        self.probes += [self.zone.now] * (len(self.zone.probes) - known)
+
+    def check_reset(self):
+        """Check that what speaks against the server is recent, and newer than answers.
+
+        Only evidence counts that began after the latest answer did.
+        """
+        since = self.zone.now - 1.0
+        probes = [start for end, start in self.lost_since.items() if end > since]
+        assert self.answered_at <= max([self.claimed_at, *probes])
+
+    def report(self, **changes):
+        self.number += 1
+        self.claimed_at = -math.inf
+        self.zone.tell(server("i-1", number=self.number, **changes))
+
+    @rule(tenths=st.integers(1, 15))
+    def wait(self, tenths):
+        for _ in range(tenths):
+            assert RESET not in self.zone.wait(0.1)
+
+    @rule(copies=st.integers(1, 3))
+    def repeat(self, copies):
+        for _ in range(copies):
+            self.send()
+            self.zone.wait(0.3)
+
+    @rule(is_request=st.booleans())
+    def answer(self, is_request):
+        self.acknowledged += 100
+        self.sequence += 9 * is_request
+        self.answered_at = self.zone.now
+        self.send()
+
+    @rule(result=st.sampled_from(ProbeResult))
+    def finish_a_probe(self, result):
+        if self.probes:
+            if result in LOST:
+                self.lost_since[self.zone.now] = self.probes[0]
+            del self.probes[0]
+            token = server("i-1").token
+            self.take(self.zone.cores["e1"].probed(token, result, self.zone.now))
+
+    @rule()
+    def report_on_time(self):
+        self.report()
+
+    @rule()
+    def be_called_over(self):
+        self.report()
+        self.zone.tell(mark_ended(server("i-1", number=self.number)))
+        self.zone.wait(1.2)
+
+    @rule(is_late=st.booleans())
+    def be_replaced(self, is_late):
+        self.claimants += 1
+        name = f"i-{self.claimants}"
+        place = server("i-1").report.endpoint
+        record = server(name, born_ms=self.claimants, endpoint=place)
+        self.zone.tell(record._replace(doubts=int(is_late)))
+        self.claimed_at = -math.inf if is_late else self.zone.now
+        self.zone.wait(0.1)
+
+    def teardown(self):
+        """A flow of a server that left and is gone is reset within two probes."""
+        self.report()
+        for _ in range(PROVING_ANSWERS + 1):
+            self.answer(True)
+        self.be_called_over()
+        self.probes = []
+        self.zone.wait(3.0)
+        self.was_reset = False
+        for _ in range(4):
+            self.send()
+            self.zone.wait(0.2)
+            self.finish_a_probe(ProbeResult.REFUSED)
+        assert self.was_reset
+
+
+# Guards against resets by what was true once, in whatever order a server is called
+# over, is probed with any result, loses its address and answers its caller.
+TestLivingServer = LivingServer.TestCase
+TestLivingServer.settings = settings(max_examples=30, stateful_step_count=25)
