Split the module of flows and load by what it decides

Change, a pure move: sequences.py, flow.py, server_loads.py, and load.py with the flows; tests change in two imports.

--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -14,7 +14,7 @@
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
-from kumquatmux_tokens.load import PROVING_ANSWERS
+from kumquatmux_tokens.flow import PROVING_ANSWERS
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.probes import ProbeResult
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
--- a/libs/tokens/src/kumquatmux_tokens/flow_news.py
+++ b/libs/tokens/src/kumquatmux_tokens/flow_news.py
@@ -5,8 +5,8 @@
 from itertools import islice
 from typing import NamedTuple
 
-from kumquatmux_tokens.load import is_near
 from kumquatmux_tokens.questions import FlowOpened
+from kumquatmux_tokens.sequences import is_near
 from kumquatmux_tokens.settings import TokenRouterSettings
 
 
--- a/libs/tokens/src/kumquatmux_tokens/lost_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -16,8 +16,9 @@
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
+from kumquatmux_tokens.flow import FlowKnowledge
 from kumquatmux_tokens.flow_news import FlowNews
-from kumquatmux_tokens.load import FlowKnowledge, LoadTracker
+from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import (
     AskZone,
     Decision,
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_tokens.load import follows_syn
 from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.sequences import follows_syn
 from kumquatmux_tokens.settings import TokenRouterSettings
 
 
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.identity import Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_registry.table import mark_ended
-from kumquatmux_tokens.load import FlowKnowledge
+from kumquatmux_tokens.flow import FlowKnowledge
 from kumquatmux_tokens.packets import (
     Drop,
     Forward,
