Ask the zone for a flow that this VM sent to several servers and did not see open

Seen by callers: a reset by a server that their flow isn't open at. Cause: a VM that sent copies of a SYN to several servers, and saw none of the flow's packets, took the token of the first one for its server's, though the caller may carry any of them, and another VM has passed the flow's packets since.

An answer names, in a new last field, the server that the VM sent the flow's packets to; older VMs leave it out.

--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -167,7 +167,7 @@
     is_sound = (
         len(message.flow_key) == FLOW_KEY_BYTES
         and len(message.tokens) <= MAX_TRIED_TOKENS
-        and _are_tokens((message.confirmed_token, *message.tokens))
+        and _are_tokens((message.confirmed_token, message.seen_token, *message.tokens))
     )
     return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
 
--- a/libs/daemons/tests/test_flow_world.py
+++ b/libs/daemons/tests/test_flow_world.py
@@ -346,6 +346,21 @@
     assert counted(world) == []
 
 
+# Guards against the same at a slow VM that placed copies of the SYN at other servers,
+# after the flow had opened and its packets had passed another VM.
+def test_a_flow_is_kept_at_a_slow_vm_that_placed_copies_after_it_opened(start):
+    world = start(1, servers=3)
+    world.run(2.0)
+    slow, other = list(world.vms)[:2]
+    world.vms[slow].read_delay_s = 1.0
+    flow = world.add_caller(5.0, 1.0)
+    lead(world, (2.7, slow))
+    world.vms[slow].read_delay_s = 0.0
+    lead(world, (6.0, other), (12.0, slow))
+    assert len(placements(world, flow)) == 3
+    assert counted(world) == []
+
+
 # Guards against the same where the VM that saw the flow open fails 0.3 s after its SYN.
 @red("late-token-after-a-vm-failed")
 def test_a_flow_is_kept_when_the_vm_that_saw_it_open_fails(start):
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -161,6 +161,27 @@
             confirmed_token, tuple(sorted({flow.token, *flow.tried_tokens}))
         )
 
+    def seen_token_of(self, flow_key: bytes, sequence_number: int) -> int:
+        """Return the token of the server that an open flow's packets go to from here.
+
+        Returns:
+            0 if none passed this VM.
+        """
+        flow = self.flows.get(flow_key)
+        if flow is None or not flow.is_established:
+            return 0
+        is_of_flow = is_near(flow.next_sequence_number, sequence_number)
+        return flow.token if is_of_flow else 0
+
+    def is_opening(self, header: PacketHeader, now: float) -> bool:
+        """Return whether a packet that is no SYN is the one that opens its flow."""
+        flow = self.flows.get(header.flow_key)
+        return (
+            flow is not None
+            and not flow.is_established
+            and shows_opening(flow, header, self.settings, now)
+        )
+
     def record_syn(self, header: PacketHeader, token: int, now: float) -> None:
         """Record that a flow's SYN packet goes to a server."""
         flow = self.flow_of_syn(header)
--- a/libs/tokens/src/kumquatmux_tokens/lost_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -40,18 +40,28 @@
     """What the VMs of the zone know of one flow whose server seems to be gone.
 
     Attributes:
-        lost_token: Token of the server that seems to be gone.
+        lost_token: Token of the server that seems to be gone, 0 if none does.
         asked_at: Time when the other VMs were asked.
         is_over: Whether no more answers are waited for.
         knowledge: What this VM and the answers say of the flow.
+        seen_token: Token of the server that another VM sent its packets to, 0 if none
+            did.
         packet: Latest packet of the flow, None if none waits.
     """
 
-    __slots__ = ("asked_at", "is_over", "knowledge", "lost_token", "packet")
+    __slots__ = (
+        "asked_at",
+        "is_over",
+        "knowledge",
+        "lost_token",
+        "packet",
+        "seen_token",
+    )
 
     def __init__(self, lost_token: int, knowledge: FlowKnowledge, now: float) -> None:
         self.lost_token = lost_token
         self.knowledge = knowledge
+        self.seen_token = 0
         self.asked_at = now
         self.is_over = False
         self.packet: BufferedPacket | None = None
@@ -63,7 +73,9 @@
             known.confirmed_token or answer.confirmed_token,
             tuple(sorted({*known.tokens, *answer.tokens})),
         )
-        self.is_over = bool(self.knowledge.confirmed_token)
+        self.seen_token = self.seen_token or answer.seen_token
+        is_found = self.seen_token and not self.lost_token
+        self.is_over = bool(self.knowledge.confirmed_token or is_found)
 
     def take_packet(self) -> BufferedPacket | None:
         """Return the packet that waits, which waits no longer."""
@@ -128,6 +140,32 @@
             return None
         return self._conclude(inquiry, header, "server-ended", now)
 
+    def locate(self, header: PacketHeader, now: float) -> Decision | None:
+        """Return the decision for the first packet here of a flow with several servers.
+
+        Copies of its SYN went to several servers, and any of them may have left its
+        token with the caller.
+
+        Returns:
+            None if no VM of the zone passed a packet of the flow, or none can be asked.
+        """
+        inquiry = self._inquiry(header, 0, now)
+        if inquiry is None:
+            known = self._own_knowledge(header.flow_key, header.sequence_number, now)
+            asked = self._ask(header, Inquiry(0, known, now))
+            return asked if isinstance(asked, AskZone) else None
+        if not inquiry.is_over:
+            return AskZone((), None)
+        token = inquiry.knowledge.confirmed_token or inquiry.seen_token
+        entry = self.directory.running_entry(token)
+        if entry is None or entry.ended_at is not None:
+            return None
+        self.load_tracker.adopt_flow(header, entry.token, False, now)
+        flow = self.load_tracker.flow_of_packet(header)
+        if flow is not None:
+            flow.is_known = True
+        return Forward(entry.record, entry.token)
+
     def decide(
         self, header: PacketHeader, lost_token: int, reason: str, now: float
     ) -> Decision:
@@ -201,9 +239,15 @@
         known = self._own_knowledge(question.flow_key, question.sequence_number, now)
         if known == NOTHING_KNOWN:
             return None
-        own_vm = self.settings.vm
+        seen_token = self.load_tracker.seen_token_of(
+            question.flow_key, question.sequence_number
+        )
         return FlowAnswer(
-            own_vm, question.flow_key, known.confirmed_token, known.tokens
+            self.settings.vm,
+            question.flow_key,
+            known.confirmed_token,
+            known.tokens,
+            seen_token,
         )
 
     def record_answer(self, answer: FlowAnswer) -> BufferedPacket | None:
--- a/libs/tokens/src/kumquatmux_tokens/questions.py
+++ b/libs/tokens/src/kumquatmux_tokens/questions.py
@@ -32,22 +32,26 @@
         flow_key: Flow key from the question.
         confirmed_token: Token of the server at which it saw the flow open, 0 for none.
         tokens: Tokens of the servers at which the flow may be open.
+        seen_token: Token of the server that its packets went to by way of the VM, 0 if
+            none did.
     """
 
     sender: VmId
     flow_key: bytes
     confirmed_token: int
     tokens: tuple[int, ...]
+    seen_token: int = 0
 
 
 class FlowOpened(NamedTuple):
     """Tells where a flow opened whose SYN may have gone to several servers.
 
     Attributes:
-        sender: The VM that saw it open.
+        sender: The VM that saw it open, or sent its SYN to several servers.
         flow_key: 12-byte flow key.
         sequence_number: Sequence number of one of the flow's packets.
-        token: Token that the caller went on with.
+        token: Token that the caller went on with, 0 if the VM did not see the flow
+            open.
     """
 
     sender: VmId
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -415,6 +415,10 @@
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
+        if header.flow_key in self.load_tracker.contested_flows:
+            located = self._locate(header, now)
+            if located is not None:
+                return located
         named_token = self._server_token(header, now)
         entry = self.directory.by_token.get(named_token)
         if entry is not None and entry.ended_at is not None:
@@ -464,6 +468,20 @@
         self.load_tracker.note_token(flow, header, now)
         return header.token
 
+    def _locate(self, header: PacketHeader, now: float) -> Decision | None:
+        """Return the decision for a packet of a flow that may be open elsewhere.
+
+        Returns:
+            None if this VM knows as much as any other one.
+        """
+        tracker = self.load_tracker
+        is_told = self.lost_flows.server_token(header) != 0
+        if is_told or tracker.flow_of_packet(header) is not None:
+            return None
+        if tracker.is_opening(header, now) or header.is_fin_or_rst:
+            return None
+        return self.lost_flows.locate(header, now)
+
     def _late_token_server(self, flow: Flow, header: PacketHeader, now: float) -> int:
         """Return the token of a flow's server, as a packet carries another one's."""
         tracker = self.load_tracker
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -48,6 +48,7 @@
 APPENDED_FIELDS = {
     "FeedPoll": ("members",),
     "FeedAnswer": ("members",),
+    "FlowAnswer": ("seen_token",),
 }
 """Fields that message types got since; older senders leave them out."""
 
