Tell the zone of a flow as soon as it is seen to open, so many at a time

Seen by callers: a reset by a server that their flow isn't open at. If it failed before, none knew better than the late token.

What is told has a module of its own, opened_flows.py.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -221,7 +221,7 @@
 
     def _due_news(self, now: float) -> list[Sent]:
         """Return what to tell the zone of flows that may seem to be elsewhere."""
-        news = self.router.lost_flows.due_news(now)
+        news = self.router.opened_flows.due(now)
         return [Sent(vm, opened) for vm, opened in news]
 
     def _contained(
@@ -239,7 +239,11 @@
         decision = self.router.route_packet(head, now)
         if head.is_syn and not isinstance(decision, HoldForServer | RequestPlacement):
             self.router.syn_buffer.remove(head.flow_key)
-        return self.apply_decision(decision, head, data, now)
+        effects = self.apply_decision(decision, head, data, now)
+        if self.router.load_tracker.shown_flows:
+            news = self.router.opened_flows.due_at_once(now)
+            effects += [Sent(vm, opened) for vm, opened in news]
+        return effects
 
     @singledispatchmethod
     def _apply_decision(
@@ -437,7 +441,7 @@
 
     @_handle_message.register
     def _(self, message: FlowNewsQuestion, now: float) -> list[Effect]:
-        latest = self.router.lost_flows.latest_news()
+        latest = self.router.opened_flows.latest()
         return [Sent(message.sender, opened) for opened in latest]
 
     def _ask_for_news(self) -> list[Effect]:
--- a/libs/daemons/tests/test_flow_world.py
+++ b/libs/daemons/tests/test_flow_world.py
@@ -361,7 +361,6 @@
 
 
 # Guards against the same where the VM that saw the flow open fails 0.3 s after its SYN.
-@red("late-token-after-a-vm-failed")
 def test_a_flow_is_kept_when_the_vm_that_saw_it_open_fails(start):
     world = start(1, servers=2)
     world.run(2.0)
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -38,6 +38,7 @@
         forwarded_syns: Times and flow keys of forwarded SYN packets, oldest first.
         contested_flows: Keys of flows whose SYN may have gone to several servers; the
             reader removes those that it is done with.
+        shown_flows: Keys of those that were seen to open; the reader clears it.
         follow_up_share: Share of a route's requests that follow another one on their
             flow.
         unreachable_zones: Other zones that do not answer, so that their servers are
@@ -50,6 +51,7 @@
         self.flows: dict[bytes, Flow] = {}
         self.forwarded_syns: deque[tuple[float, bytes]] = deque()
         self.contested_flows: set[bytes] = set()
+        self.shown_flows: list[bytes] = []
         self.follow_up_share: dict[bytes, float] = {}
         self.unreachable_zones: frozenset[ZoneName] = frozenset()
         self.latencies = Latencies()
@@ -364,6 +366,8 @@
                 flow.is_known and is_only_one and not flow.has_missed_copy
             )
             self._record_handshake(flow, now)
+            if flow.is_known and header.flow_key in self.contested_flows:
+                self.shown_flows.append(header.flow_key)
 
     def _move(self, flow: Flow, token: int, now: float) -> None:
         """Count a flow at another server, with its request in progress."""
--- a/libs/tokens/src/kumquatmux_tokens/lost_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -28,7 +28,7 @@
     Reset,
 )
 from kumquatmux_tokens.placers import CoordinatorSelector
-from kumquatmux_tokens.questions import FlowAnswer, FlowOpened, FlowQuestion
+from kumquatmux_tokens.questions import FlowAnswer, FlowQuestion
 from kumquatmux_tokens.recent import RecentPlacements
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import BufferedPacket
@@ -201,33 +201,6 @@
         entry = self.directory.running_entry(token)
         return token if entry is not None and entry.ended_at is None else 0
 
-    def due_news(self, now: float) -> list[tuple[VmId, FlowOpened]]:
-        """Return what to tell other VMs of flows whose SYN went to several servers.
-
-        A late answer of a server that the flow is not open at may leave its token with
-        the caller, whose next packets may reach any VM of the zone.
-        """
-        due: list[tuple[VmId, FlowOpened]] = []
-        if not self._some_vms():
-            return due
-        for flow_key in list(self.load_tracker.contested_flows):
-            flow = self.load_tracker.flows.get(flow_key)
-            if flow is not None and not (flow.is_known or flow.own_answers):
-                continue
-            self.load_tracker.contested_flows.discard(flow_key)
-            if flow is not None:
-                opened = FlowOpened(
-                    self.settings.vm, flow_key, flow.next_sequence_number, flow.token
-                )
-                self.news.record(opened, now)
-                due += [(vm, opened) for vm in self._some_vms()]
-        return due
-
-    def latest_news(self) -> list[FlowOpened]:
-        """Return the latest news, as from this VM, for one that has just started."""
-        latest = self.news.latest(self.settings.flow_news_told_limit)
-        return [opened._replace(sender=self.settings.vm) for opened in latest]
-
     def hold(self, header: PacketHeader, data: bytes) -> None:
         """Keep a packet until the VMs that were asked have answered."""
         inquiry = self.by_flow.get(header.flow_key)
@@ -298,7 +271,7 @@
         Returns:
             None if there is no other VM.
         """
-        vms = self._some_vms()
+        vms = self.some_vms()
         if not vms:
             return None
         self.by_flow.pop(header.flow_key, None)
@@ -318,7 +291,7 @@
         )
         return AskZone(vms, question)
 
-    def _some_vms(self) -> tuple[VmId, ...]:
+    def some_vms(self) -> tuple[VmId, ...]:
         """Return the other entry VMs of the zone, some of them if there are many."""
         others = [vm for vm in self.coordinators.entry_vms if vm != self.settings.vm]
         count = min(len(others), self.settings.flow_inquiry_vms)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -15,6 +15,7 @@
 from kumquatmux_tokens.flow import Flow
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.lost_flows import LostFlows
+from kumquatmux_tokens.opened_flows import OpenedFlows
 from kumquatmux_tokens.packets import (
     Decision,
     Drop,
@@ -56,6 +57,7 @@
         recent: Servers of the flows that were placed here a short time ago.
         coordinators: Selects the placement coordinator of each service.
         lost_flows: Decides whether flows whose servers seem to be gone are reset.
+        opened_flows: What other VMs are told of flows with several servers.
         outgoing_reports: State of the load reports to each other VM, by receiver.
         report_count: Number of load reports sent.
         reported_at: Time when load reports were last prepared.
@@ -94,6 +96,7 @@
             self.coordinators,
             self.recent,
         )
+        self.opened_flows = OpenedFlows(settings, self.load_tracker, self.lost_flows)
         self.outgoing_reports: dict[VmId, OutgoingReports] = {}
         self.report_count = 0
         self.reported_at = -math.inf
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -86,6 +86,8 @@
             flow may be idle.
         flow_news_limit: Limit of flows of which news is kept.
         flow_news_told_limit: Limit of flows of which a VM that has started is told.
+        flow_news_sweep_limit: Limit of flows that the others are told of until the next
+            sweep.
         token_lookup_timeout_s: Seconds for which a packet with an unknown token is
             buffered; as long as a newly started entry VM may wait for a control VM that
             is starting too.
@@ -151,6 +153,7 @@
     flow_news_validity_s: float = 20.0
     flow_news_limit: int = 16_384
     flow_news_told_limit: int = 256
+    flow_news_sweep_limit: int = 32
     token_lookup_timeout_s: float = 1.5
     token_buffer_limit: int = 2048
     server_wait_s: float = 5.0
