--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -83,6 +83,17 @@
             return None
         return flow if carries_on(flow, header) else None
 
+    def acknowledges_more(self, header: PacketHeader) -> bool:
+        """Return whether a packet shows that its flow's server has answered.
+
+        It acknowledges more than the packets of its flow before, as far as that is
+        known; nothing but an answer of the server can cause that.
+        """
+        flow = self.flow_of_packet(header)
+        return flow is not None and is_after(
+            header.ack_number, flow.baseline_ack_number
+        )
+
     def note_token(self, flow: Flow, header: PacketHeader, now: float) -> None:
         """Note the token of a packet of an open flow.
 
@@ -252,6 +263,9 @@
         if header.is_fin_or_rst:
             self._remove(header.flow_key)
             return
+        is_answered = is_after(header.ack_number, flow.baseline_ack_number)
+        if is_answered:
+            self.local_load_at(flow.token).acknowledged_at = now
         if header.payload_length and is_after(
             header.sequence_number + header.payload_length, flow.next_sequence_number
         ):
@@ -264,7 +278,7 @@
             flow.retransmissions = 0
             self._update_follow_up_share(flow, header)
             self.start_request(flow, now)
-        elif is_after(header.ack_number, flow.baseline_ack_number):
+        elif is_answered:
             flow.baseline_ack_number = header.ack_number
             flow.retransmissions = 0
             self.local_load_at(flow.token).last_answer_at = now
--- a/libs/tokens/src/kumquatmux_tokens/lost_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -18,6 +18,7 @@
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.flow import FlowKnowledge
 from kumquatmux_tokens.flow_news import FlowNews
+from kumquatmux_tokens.gone import GoneServers
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import (
     AskZone,
@@ -99,6 +100,7 @@
         settings: TokenRouterSettings,
         random: Random,
         directory: ServerDirectory,
+        gone: GoneServers,
         load_tracker: LoadTracker,
         coordinators: CoordinatorSelector,
         recent: RecentPlacements,
@@ -106,6 +108,7 @@
         self.settings = settings
         self.random = random
         self.directory = directory
+        self.gone = gone
         self.load_tracker = load_tracker
         self.coordinators = coordinators
         self.recent = recent
@@ -304,7 +307,7 @@
         confirmed_token = inquiry.knowledge.confirmed_token
         entry = self._server_of(inquiry)
         is_lost = confirmed_token == inquiry.lost_token or (
-            entry is not None and self._is_gone(entry)
+            entry is not None and self._is_lost(header, entry, now)
         )
         if confirmed_token and is_lost:
             return Reset(header.ack_number, reason, confirmed_token)
@@ -338,8 +341,9 @@
         ]
         return running[0] if len(running) == 1 else None
 
-    def _is_gone(self, entry: ServerEntry) -> bool:
-        return entry.ended_at is not None and self.directory.is_gone(entry)
+    def _is_lost(self, header: PacketHeader, entry: ServerEntry, now: float) -> bool:
+        has_ended = entry.ended_at is not None
+        return has_ended and self.gone.is_flow_lost(header, entry, now)
 
     def _own_knowledge(
         self, flow_key: bytes, sequence_number: int, now: float
--- a/libs/tokens/src/kumquatmux_tokens/server_loads.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_loads.py
@@ -21,10 +21,13 @@
         unanswered_syns: Consecutive SYN packets that the server left unanswered.
         avoided_until: Time until which new flows go to other servers if possible.
         last_answer_at: Time of the latest evidence that the server answers.
+        acknowledged_at: Time of the latest packet that acknowledged more than its flow
+            did before; a request acknowledges answers that may be old.
     """
 
     __slots__ = (
         "last_answer_at",
+        "acknowledged_at",
         "avoided_until",
         "active_requests",
         "open_flows",
@@ -37,6 +40,7 @@
         self.unanswered_syns = 0
         self.avoided_until = -math.inf
         self.last_answer_at = -math.inf
+        self.acknowledged_at = -math.inf
 
 
 class ServerLoads:
