Have what the zone said of a flow hold for that flow, and not against what came since

Seen by callers: a reset, or silence, for a flow by what was concluded of the former one on its port, up to 1 s before; or by a conclusion that an answer has refuted. Cause: inquiries were kept by flow key alone.

Change: a conclusion holds for packets near the one that was asked for, and no longer once the caller acknowledges more than that one did; the zone is asked anew.

--- a/libs/tokens/src/kumquatmux_tokens/lost_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -31,6 +31,7 @@
 from kumquatmux_tokens.placers import CoordinatorSelector
 from kumquatmux_tokens.questions import FlowAnswer, FlowQuestion
 from kumquatmux_tokens.recent import RecentPlacements
+from kumquatmux_tokens.sequences import is_after, is_near
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import BufferedPacket
 
@@ -42,6 +43,7 @@
 
     Attributes:
         lost_token: Token of the server that seems to be gone, 0 if none does.
+        header: Header of the packet that they were asked for.
         asked_at: Time when the other VMs were asked.
         is_over: Whether no more answers are waited for.
         knowledge: What this VM and the answers say of the flow.
@@ -52,6 +54,7 @@
 
     __slots__ = (
         "asked_at",
+        "header",
         "is_over",
         "knowledge",
         "lost_token",
@@ -59,14 +62,34 @@
         "seen_token",
     )
 
-    def __init__(self, lost_token: int, knowledge: FlowKnowledge, now: float) -> None:
+    def __init__(
+        self,
+        lost_token: int,
+        header: PacketHeader,
+        knowledge: FlowKnowledge,
+        now: float,
+    ) -> None:
         self.lost_token = lost_token
+        self.header = header
         self.knowledge = knowledge
         self.seen_token = 0
         self.asked_at = now
         self.is_over = False
         self.packet: BufferedPacket | None = None
 
+    def holds_for(self, header: PacketHeader) -> bool:
+        """Return whether a packet is of the same flow, and shows nothing newer.
+
+        A conclusion is void once the caller acknowledges more, which only the flow's
+        server can cause. A flow that the caller opened later on the same port is
+        another one.
+        """
+        asked = self.header
+        is_newer = is_after(header.ack_number, asked.ack_number)
+        return is_near(asked.sequence_number, header.sequence_number) and not (
+            self.is_over and is_newer
+        )
+
     def add(self, answer: FlowAnswer) -> None:
         """Add what a VM knows. The inquiry is over once one saw the flow open."""
         known = self.knowledge
@@ -135,7 +158,7 @@
             return None
         inquiry = self._inquiry(header, ended_token, now)
         if inquiry is None:
-            asked = self._ask(header, Inquiry(ended_token, known, now))
+            asked = self._ask(header, Inquiry(ended_token, header, known, now))
             return asked if isinstance(asked, AskZone) else None
         if not inquiry.is_over:
             return AskZone((), None)
@@ -155,7 +178,7 @@
         inquiry = self._inquiry(header, 0, now)
         if inquiry is None:
             known = self._own_knowledge(header.flow_key, header.sequence_number, now)
-            asked = self._ask(header, Inquiry(0, known, now))
+            asked = self._ask(header, Inquiry(0, header, known, now))
             return asked if isinstance(asked, AskZone) else None
         if not inquiry.is_over:
             return AskZone((), None)
@@ -185,7 +208,7 @@
             return Reset(header.ack_number, reason, lost_token)
         inquiry = self._inquiry(header, lost_token, now)
         if inquiry is None:
-            inquiry = Inquiry(lost_token, known, now)
+            inquiry = Inquiry(lost_token, header, known, now)
             asked = self._ask(header, inquiry)
             if asked is not None:
                 return asked
@@ -266,7 +289,7 @@
         if inquiry is None or inquiry.lost_token != lost_token:
             return None
         is_valid = now < inquiry.asked_at + self.settings.flow_inquiry_validity_s
-        return inquiry if is_valid else None
+        return inquiry if is_valid and inquiry.holds_for(header) else None
 
     def _ask(self, header: PacketHeader, inquiry: Inquiry) -> AskZone | Drop | None:
         """Ask the other VMs of the zone for a flow, as far as there is room.
