Wait for the result of a probe that a pause of this VM outlasted

After the pause a packet starts a second probe, and the first one's time-out, read an instant later, counts as its result: a reset of a flow of a living server.

Cause: results name a server, not a probe, and a probe counted as never made 3.0 s after its start, however long this VM stood still.

Change: that time starts anew after a pause, in which the result is read first. It is void then, as the pause came after the probe's start.

Evidence: test_a_probe_that_a_pause_outlasted_is_not_taken_for_the_next[3.1 and 6.0] failed before. The test of probes that are overdue looked at 10.9 and 12.0 s only, which is a pause; it looks each 0.5 s now, and wants the same.

--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -201,6 +201,20 @@
     assert resets(core, 9.7, 9.8) == []
 
 
+# Guards against the time-out of a probe that is read after a pause, and taken for the
+# result of a probe that a packet started an instant before.
+@pytest.mark.parametrize("paused_s", [1.6, 3.1, 6.0])
+def test_a_probe_that_a_pause_outlasted_is_not_taken_for_the_next(core, paused_s):
+    listen(core, 0.0, 2.0, "a", "b")
+    core.message("c1", answer("a", mark_ended(SERVER)), 2.0)
+    listen(core, 2.0, 5.0, "a", "b")
+    resets(core, 5.0, 5.2)
+    thawed_at = 5.2 + paused_s
+    assert resets(core, thawed_at) == []
+    unanswered = core.probed(SERVER.token, ProbeResult.UNANSWERED, thawed_at)
+    assert not resets_among(unanswered)
+
+
 # Guards against a reset for a cut that has healed: the probe met the cut, and ended
 # after the server's zone was heard again.
 @pytest.mark.parametrize("heard_at", [9.4, None])
@@ -246,8 +260,9 @@
 # The same where the probes in progress never have a result.
 def test_a_probe_that_waits_starts_once_those_in_progress_are_overdue(busy_core):
     resets(busy_core, 8.0, 8.7, 8.9)
-    assert not probes_among(busy_core.tick(10.9))
-    started = probes_among(busy_core.tick(12.0))
+    for now in (9.4, 9.9, 10.4, 10.9):
+        assert not probes_among(busy_core.tick(now))
+    started = probes_among(busy_core.tick(11.4))
     assert started == [Probe(SERVER.token, REPORT.endpoint)]
 
 
--- a/libs/tokens/src/kumquatmux_tokens/probes.py
+++ b/libs/tokens/src/kumquatmux_tokens/probes.py
@@ -54,6 +54,7 @@
         waiting: Those beyond the limit of probes in progress, by token, first come
             first.
         in_progress: Those that have started and have no result, by token, oldest first.
+        resumed_at: Time when the latest pause of this VM ended.
     """
 
     def __init__(self, settings: TokenRouterSettings) -> None:
@@ -61,6 +62,7 @@
         self.by_token: dict[int, ServerProbe] = {}
         self.waiting: dict[int, ServerProbe] = {}
         self.in_progress: dict[int, ServerProbe] = {}
+        self.resumed_at = -math.inf
 
     def start(self, token: int, now: float) -> bool:
         """Return whether to probe a server now.
@@ -172,5 +174,10 @@
         return probe if is_fresh else None
 
     def _overdue_at(self, probe: ServerProbe) -> float:
-        """Return when a probe without a result counts as never made."""
-        return probe.started_at + 2 * self.settings.probe_timeout_s
+        """Return when a probe without a result counts as never made.
+
+        After a pause its result is still to be read. It would pass for that of the next
+        probe of the server.
+        """
+        counted_from = max(probe.started_at, self.resumed_at)
+        return counted_from + 2 * self.settings.probe_timeout_s
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -125,6 +125,7 @@
     def note_pause(self, now: float, gap_s: float) -> None:
         """Note a pause of this VM that has just ended, before packets are routed."""
         self.listening_since = now
+        self.probes.resumed_at = now
         self.backlog.note_pause(now, gap_s)
 
     def install_routes(self, routes: RouteSet, now: float) -> bool:
