Let a refusal count where the server's holder is heard

Cause: a refusal counted for nothing while the zone is silent, also where the word that the server is gone does not come from that silence.

Change: it counts for nothing only where neither the zone nor the server's holder is heard, which is when the silence itself is the other evidence.

Evidence: test_a_refusal_counts_while_the_holder_of_a_silent_zones_server_is_heard failed before.

--- a/libs/daemons/tests/test_silent_servers.py
+++ b/libs/daemons/tests/test_silent_servers.py
@@ -201,6 +201,17 @@
     assert resets(core, 9.7, 9.8) == []
 
 
+# Guards against callers who wait out their budgets at a server whose host refuses, and
+# whose holder is heard and calls it over, while its zone's control VM restarts.
+def test_a_refusal_counts_while_the_holder_of_a_silent_zones_server_is_heard(core):
+    core.message("c1", answer("a", SERVER._replace(holder="c1")), 0.0)
+    listen(core, 0.0, 2.0, "a", "b")
+    core.message("c1", answer("a", mark_ended(SERVER._replace(holder="c1"))), 2.0)
+    listen(core, 2.0, 5.0, "a")
+    resets(core, 5.0, 5.2)
+    assert resets_among(core.probed(SERVER.token, ProbeResult.REFUSED, 5.3))
+
+
 # Guards against the time-out of a probe that is read after a pause, and taken for the
 # result of a probe that a packet started an instant before.
 @pytest.mark.parametrize("paused_s", [1.6, 3.1, 6.0])
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -166,13 +166,13 @@
         """Record the result of a probe; return the packets of flows that are lost.
 
         A flow is not lost if an answer, or better news of its server, arrived while the
-        server was probed. A refusal says nothing of a server whose zone is silent: what
-        cuts that off may have answered.
+        server was probed. A refusal says nothing of a server that seems to be cut off:
+        what does that may have answered.
         """
         entry = self.directory.running_entry(token)
-        if result == ProbeResult.REFUSED and entry is not None:
-            is_cut_off = entry.record.report.zone in self.load_tracker.unreachable_zones
-            result = ProbeResult.NOT_MADE if is_cut_off else result
+        is_refused = result == ProbeResult.REFUSED
+        if is_refused and entry is not None and self._is_cut_off(entry.record):
+            result = ProbeResult.NOT_MADE
         packets = self.probes.record(token, result, now, self.listening_since)
         if entry is None or entry.token != token:
             return []
@@ -345,10 +345,12 @@
         )
         if not header.payload_length or not is_unanswered:
             return False
-        is_zone_unreachable = record.report.zone in self.load_tracker.unreachable_zones
-        is_holder_lost = record.holder in self.lost_holders
-        is_cut_off = is_zone_unreachable and is_holder_lost
-        return is_cut_off or self.is_known_late(record, now)
+        return self._is_cut_off(record) or self.is_known_late(record, now)
+
+    def _is_cut_off(self, record: ServerRecord) -> bool:
+        """Return whether nothing is heard of a server's zone nor of its holder."""
+        is_zone_silent = record.report.zone in self.load_tracker.unreachable_zones
+        return is_zone_silent and record.holder in self.lost_holders
 
 
 def _is_called_late(record: ServerRecord, now: float) -> bool:
