Remember a placement for its flow, not for the port of its caller

Seen by callers: a flow's packets that are handed to the server of the former flow on its port, placed up to 10 s before. Cause: placements were remembered by flow key alone. Shown by reading, and by test_a_placement_is_of_one_flow_not_of_its_port, which needs the number (python -m pytest libs/tokens/tests/test_router.py); no caller was seen to suffer from it.

Change: a placement request carries the SYN's sequence number in a new last field, which older VMs leave out, and a placement is found only for packets near it. One test compares whole requests and names the number now.

--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -139,7 +139,7 @@
         len(message.flow_key) == FLOW_KEY_BYTES
         and _are_texts((message.service,))
         and len(message.tried_tokens) <= MAX_TRIED_TOKENS
-        and _are_tokens(message.tried_tokens)
+        and _are_tokens((message.sequence_number, *message.tried_tokens))
     )
     return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
 
--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -33,11 +33,13 @@
             sent to.
         expects_many_requests: Whether the flow is likely to carry many requests.
         now: Current time in monotonic seconds.
+        sequence_number: Sequence number of its SYN, 0 if an older VM left it out.
     """
 
     tried_tokens: tuple[int, ...]
     expects_many_requests: bool
     now: float
+    sequence_number: int = 0
 
 
 class Selection(NamedTuple):
--- a/libs/tokens/src/kumquatmux_tokens/lost_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -374,6 +374,6 @@
         known = self.load_tracker.knowledge_of(flow_key, sequence_number)
         known = known or NOTHING_KNOWN
         told_token = self.news.token_of(flow_key, sequence_number)
-        placed_token = self.recent.token_of(flow_key, now)
+        placed_token = self.recent.token_of(flow_key, now, sequence_number)
         tokens = {*known.tokens, told_token, placed_token} - {0}
         return FlowKnowledge(known.confirmed_token, tuple(sorted(tokens)))
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -25,6 +25,8 @@
         tried_tokens: Tokens of the servers that earlier SYN packets of the flow were
             sent to.
         expects_many_requests: Whether the flow is likely to carry many requests.
+        sequence_number: Sequence number of the flow's SYN, which tells it from a flow
+            that the caller had before on the same port.
     """
 
     sender: VmId
@@ -32,6 +34,7 @@
     service: ServiceName
     tried_tokens: tuple[int, ...]
     expects_many_requests: bool
+    sequence_number: int = 0
 
 
 class PlaceAnswer(NamedTuple):
--- a/libs/tokens/src/kumquatmux_tokens/server_selector.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_selector.py
@@ -37,7 +37,12 @@
 
     def answer_request(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
         """Select a server for a flow whose SYN packet arrived at another VM."""
-        new_flow = NewFlow(question.tried_tokens, question.expects_many_requests, now)
+        new_flow = NewFlow(
+            question.tried_tokens,
+            question.expects_many_requests,
+            now,
+            question.sequence_number,
+        )
         selection = self.select(question.flow_key, question.service, new_flow)
         own_vm = self.settings.vm
         if selection is None:
@@ -58,14 +63,18 @@
         pool = self.pools.pool(service)
         selection = select_server(pool, new_flow, self.load_tracker, self.random)
         if selection is not None and not selection.is_full:
-            self.recent.record(flow_key, selection.entry.token, new_flow.now)
+            self.recent.record(
+                flow_key, selection.entry.token, new_flow.now, new_flow.sequence_number
+            )
         return selection
 
     def _recent_entry(
         self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
     ) -> ServerEntry | None:
         """Return the server that another copy of a flow's SYN was sent to, if sound."""
-        recent_token = self.recent.token_of(flow_key, new_flow.now)
+        recent_token = self.recent.token_of(
+            flow_key, new_flow.now, new_flow.sequence_number
+        )
         running_entry = self.directory.running_entry(recent_token)
         token = running_entry.token if running_entry is not None else 0
         entry = self.directory.accepting_entry(token)
--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -100,7 +100,12 @@
         return RequestPlacement(
             coordinator,
             PlaceQuestion(
-                own_vm, header.flow_key, service, tried_tokens, expects_many_requests
+                own_vm,
+                header.flow_key,
+                service,
+                tried_tokens,
+                expects_many_requests,
+                header.sequence_number,
             ),
         )
 
@@ -154,6 +159,7 @@
             tried_tokens,
             self.load_tracker.expects_many_requests(header.route_address),
             now,
+            header.sequence_number,
         )
         selection = self.selector.select(header.flow_key, service, new_flow)
         if selection is None:
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -552,7 +552,7 @@
 def test_syn_causes_a_placement_request_to_the_coordinator():
     router, coordinator = make_router_with_other_coordinator(make_server_record("i-1"))
     header = make_syn()
-    request = PlaceQuestion("e1", header.flow_key, "entries", (), False)
+    request = PlaceQuestion("e1", header.flow_key, "entries", (), False, 100)
     assert router.route_packet(header, NOW_S) == RequestPlacement(coordinator, request)
 
 
@@ -1068,6 +1068,15 @@
     assert not router.recent.placed
 
 
+# Guards against the server of a flow that is taken for that of the next on its port.
+def test_a_placement_is_of_one_flow_not_of_its_port():
+    router = make_router(make_server_record("i-1"))
+    token = router.route_packet(make_syn(), NOW_S).token
+    key = make_flow_key(1, ROUTE_ADDRESS)
+    assert router.recent.token_of(key, NOW_S + 1.0, 300) == token
+    assert router.recent.token_of(key, NOW_S + 1.0, 5_000_000) == 0
+
+
 def known_of_flow(router, sequence=101):
     return router.load_tracker.knowledge_of(make_flow_key(1, ROUTE_ADDRESS), sequence)
 
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -49,6 +49,7 @@
     "FeedPoll": ("members",),
     "FeedAnswer": ("members",),
     "FlowAnswer": ("seen_token",),
+    "PlaceQuestion": ("sequence_number",),
 }
 """Fields that message types got since; older senders leave them out."""
 
