--- a/libs/daemons/tests/test_flow_world.py
+++ b/libs/daemons/tests/test_flow_world.py
@@ -359,6 +359,24 @@
     assert counted(world) == []
 
 
+# Guards against the same where the VM that passed the flow's packets has ended since:
+# as it knew of no copies, it told nobody.
+@red("late-token-after-the-only-vm-that-knew-ended")
+def test_a_flow_is_kept_at_a_slow_vm_when_the_vm_that_passed_it_ended(start):
+    world = start(1, servers=3)
+    world.run(2.0)
+    slow, other = list(world.vms)[:2]
+    world.vms[slow].read_delay_s = 1.0
+    flow = world.add_caller(5.0, 1.0)
+    lead(world, (2.7, slow))
+    world.vms[slow].read_delay_s = 0.0
+    lead(world, (5.0, other))
+    world.vms[other].stop()
+    lead(world, (12.0, slow))
+    assert len(placements(world, flow)) == 3
+    assert counted(world) == []
+
+
 # Guards against the same where the VM that saw the flow open fails 0.3 s after its SYN.
 def test_a_flow_is_kept_when_the_vm_that_saw_it_open_fails(start):
     world = start(1, servers=2)
