Reset no flow of a server whose zone and holder are silent

Each server reported to its holder all the while.

Cause: the silence of the zone and of the holder, the caller without answers and the probe that is not accepted are one cut, taken for three kinds of evidence. Where only control VMs are cut off, their servers and this VM stay in touch, and a probe that is lost or waits in a full queue is all that is left.

Change: while neither a server's zone nor its holder is heard, its flows are forwarded, and no probe speaks against it. Once either is heard, its word and a new probe decide.

Cost: callers at a zone that is lost whole wait out one time budget each.

--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -381,8 +381,9 @@
     assert forwarded.target == sound.report.endpoint
 
 
-# Guards against a reset of flows whose server lives, though the control VM that it
-# reported to is lost: it reports to another one by the time that the flow is judged.
+# Guards against a reset of flows whose server may live, though the control VM that it
+# reported to is lost: it reports to another one, or may be cut off with that one, until
+# that one is heard and says that its reports stopped.
 @pytest.mark.parametrize("reports_on", [True, False])
 def test_the_loss_of_a_control_vm_resets_no_flow_of_its_zone(core, reports_on):
     far = server(1)._replace(holder="c2")
@@ -403,6 +404,14 @@
             if any(isinstance(one, Probe) for one in sent):
                 sent += core.probed(far.token, ProbeResult.UNANSWERED, now + 0.1)
             resets += [one for one in datagrams(sent) if one.startswith(b"reset")]
+    assert resets == []
+    late = renewed if reports_on else far._replace(doubts=1)
+    core.message("c2", answer(late)._replace(sender="c2", zone="b"), 6.0)
+    for now in (6.1, 6.4):
+        sent = core.packet(b"data 7 %d" % far.token, now)
+        if any(isinstance(one, Probe) for one in sent):
+            sent += core.probed(far.token, ProbeResult.UNANSWERED, now + 0.1)
+        resets += [one for one in datagrams(sent) if one.startswith(b"reset")]
     assert bool(resets) is not reports_on
 
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -30,7 +30,7 @@
     PlaceQuestion,
 )
 from kumquatmux_tokens.pools import ServerPools
-from kumquatmux_tokens.probes import ProbeResult, ServerProbes
+from kumquatmux_tokens.probes import LOST_RESULTS, ProbeResult, ServerProbes
 from kumquatmux_tokens.recent import RecentPlacements
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.server_selector import ServerSelector
@@ -166,12 +166,12 @@
         """Record the result of a probe; return the packets of flows that are lost.
 
         A flow is not lost if an answer, or better news of its server, arrived while the
-        server was probed. A refusal says nothing of a server that seems to be cut off:
-        what does that may have answered.
+        server was probed. A probe that fails says nothing of a server that seems to be
+        cut off: it met what does that.
         """
         entry = self.directory.running_entry(token)
-        is_refused = result == ProbeResult.REFUSED
-        if is_refused and entry is not None and self._is_cut_off(entry.record):
+        has_failed = result in LOST_RESULTS
+        if has_failed and entry is not None and self._is_cut_off(entry.record):
             result = ProbeResult.NOT_MADE
         packets = self.probes.record(token, result, now, self.listening_since)
         if entry is None or entry.token != token:
@@ -336,19 +336,22 @@
         """Return whether a flow's server may be gone, judged by two kinds of evidence.
 
         The caller retransmits while the server answers no caller of this VM. In
-        addition, its reports are overdue, or nothing is heard of its zone nor of the
-        control VM that it reports to. Unanswered SYN packets are no evidence: a server
-        that is full answers none, and goes on with the flows that it has.
+        addition, its reports are overdue, and it does not seem to be cut off.
+        Unanswered SYN packets are no evidence: a server that is full answers none, and
+        goes on with the flows that it has.
         """
         is_unanswered = self.load_tracker.is_server_unresponsive(
             header.flow_key, self.listening_since, now
         )
         if not header.payload_length or not is_unanswered:
             return False
-        return self._is_cut_off(record) or self.is_known_late(record, now)
+        return not self._is_cut_off(record) and self.is_known_late(record, now)
 
     def _is_cut_off(self, record: ServerRecord) -> bool:
-        """Return whether nothing is heard of a server's zone nor of its holder."""
+        """Return whether nothing is heard of a server's zone nor of its holder.
+
+        Then all that speaks against the server may be one cut, behind which it serves.
+        """
         is_zone_silent = record.report.zone in self.load_tracker.unreachable_zones
         return is_zone_silent and record.holder in self.lost_holders
 
