--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -25,6 +25,8 @@
 ENTRY_DESCRIPTORS = 4_100
 CONTESTED_SHARE = 8 / 9_943
 PROBES_LIMIT = 1_024
+CONNECTIONS_PER_PROBE = 3
+NEWS_PER_SWEEP = 32
 PROBE_TIMEOUT_S = 1.5
 LIMIT_BYTES = 6_000
 LIMIT_CPU_PERCENT = 2.6
@@ -311,10 +313,11 @@
             "built; as much with 400 servers of an address as with 4",
         ),
         Row(
-            "probes open at once, a zone lost, limit 4,100 descriptors",
-            f"one for each of {zone_servers:.0f} suspect servers, at most {PROBES_LIMIT}",
-            f"{probes:.0f}",
-            "built; " + verdict(probes < ENTRY_DESCRIPTORS),
+            "probes open at once, a zone's servers lost, limit 4,100 descriptors",
+            f"one for each of {zone_servers:.0f} suspect servers, at most {PROBES_LIMIT}; "
+            f"{CONNECTIONS_PER_PROBE} connections each while unanswered",
+            f"{probes:.0f}, {CONNECTIONS_PER_PROBE * probes:.0f} connections",
+            "built; " + verdict(CONNECTIONS_PER_PROBE * probes < ENTRY_DESCRIPTORS),
         ),
         Row(
             "wait of the last server's probe then",
@@ -326,7 +329,8 @@
             "news of flows with two answers, sent",
             f"107/s x {CONTESTED_SHARE:.1%} x 64 VMs x 37 B",
             kb(contested),
-            "built; **misses** with the 6.3% of a day of loss and freezes: 16 KB/s",
+            f"built; **misses** with the 6.3% of a day of loss and freezes: 16 KB/s; "
+            f"{NEWS_PER_SWEEP} flows each 0.5 s at most",
         ),
         Row(
             "questions about a flow of a server that is gone, sent",
