--- a/libs/daemons/tests/test_flow_world.py
+++ b/libs/daemons/tests/test_flow_world.py
@@ -493,3 +493,21 @@
     world.run(11.0)
     assert server.is_up
     assert counted(world) == []
+
+
+# Guards against a late token at a VM that no other one told, or could tell: drawn runs.
+@pytest.mark.parametrize(
+    ("seed", "ack_share"),
+    [
+        pytest.param(2064, 0.5, marks=red("late-token-that-a-third-vm-follows")),
+        pytest.param(3001, 0.0, marks=red("late-token-that-a-third-vm-follows")),
+        pytest.param(3096, 0.0, marks=red("news-told-into-a-cut")),
+    ],
+)
+def test_drawn_runs_of_callers_that_acknowledge_late(start, seed, ack_share):
+    def start_acknowledging(*given, **named):
+        world = start(*given, **named)
+        world.ack_share = ack_share
+        return world
+
+    assert play(start_acknowledging, seed) == []
--- a/libs/daemons/tests/test_flows_of_ended_servers.py
+++ b/libs/daemons/tests/test_flows_of_ended_servers.py
@@ -457,3 +457,40 @@
 # over, is probed with any result, loses its address and answers its caller.
 TestLivingServer = LivingServer.TestCase
 TestLivingServer.settings = settings(max_examples=30, stateful_step_count=25)
+
+
+@pytest.fixture
+def zone_of_a_server_that_left(zone):
+    """A zone that saw a flow open at a server which left and serves on."""
+    record = server("i-1")
+    zone.open_flow(record)
+    for acknowledged in (600, 700, 800, 900):
+        zone.send("e1", data(record, acknowledged))
+    zone.tell(mark_ended(record))
+    zone.wait(2.0)
+    return zone
+
+
+# Guards against a reset of a packet that a probe held while its flow moved on to
+# another VM, where its server answers it.
+@pytest.mark.xfail(strict=True, reason="packet-after-a-move in KNOWN-RED.txt")
+def test_a_held_packet_of_a_flow_that_moved_on_is_not_reset(zone_of_a_server_that_left):
+    zone, record = zone_of_a_server_that_left, server("i-1")
+    zone.send("e1", data(record, 900))
+    for acknowledged in range(1000, 1600, 100):
+        zone.send("e2", data(record, acknowledged))
+    unanswered = zone.cores["e1"].probed(record.token, ProbeResult.UNANSWERED, zone.now)
+    assert zone.carry_out(unanswered) + zone.wait(0.3) == []
+
+
+# Guards against the same for the first packet of a flow at a VM, which acknowledges
+# more than any VM has seen.
+@pytest.mark.xfail(strict=True, reason="packet-after-a-move in KNOWN-RED.txt")
+def test_a_flows_first_packet_that_acknowledges_more_is_not_reset(
+    zone_of_a_server_that_left,
+):
+    zone, record = zone_of_a_server_that_left, server("i-1")
+    zone.cores["e3"].router.probes.start(record.token, zone.now)
+    zone.wait(0.5)
+    zone.cores["e3"].probed(record.token, ProbeResult.UNANSWERED, zone.now)
+    assert zone.send("e3", data(record, 2000)) == [("i-1", record.token)]
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -1151,3 +1151,17 @@
     router.store_record(mark_ended(other), NOW_S)
     decision = router.route_packet(make_data_packet(other.token), NOW_S + 5.0)
     assert not isinstance(decision, Reset)
+
+
+# Guards against packets that go to another server for good: the first one that a VM saw
+# of the flow carried a late token, and got lost there.
+@pytest.mark.xfail(strict=True, reason="late-token-seen-first in KNOWN-RED.txt")
+def test_copies_under_a_flows_own_token_go_to_its_server_after_a_late_one():
+    first, other = make_server_record("i-1"), make_server_record("i-2")
+    router = make_router(first, other)
+    route_data(router, first, [101], NOW_S)
+    copies = [
+        route_data(router, other, [110], NOW_S + 1.0 + 0.2 * copy)[0]
+        for copy in range(9)
+    ]
+    assert [one.report.lifetime.name for one in copies[2:]] == ["i-2"] * 7
