Draw the VMs that are told of a flow only once there is something to tell

Found in the last read of the change.

What is told, and to whom, is as before, but for the draws of chance that are left out. Tests of tokens, the flow world and the entry core pass, its strict xfails included.

--- a/libs/tokens/src/kumquatmux_tokens/opened_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/opened_flows.py
@@ -55,15 +55,16 @@
     ) -> list[tuple[VmId, FlowOpened]]:
         """Return what to tell of those of some flows that are known to be open."""
         due: list[tuple[VmId, FlowOpened]] = []
+        if not self.lost_flows.coordinators.has_other_vms:
+            return due
         for flow_key in flow_keys:
-            vms = self.lost_flows.some_vms()
-            if not vms or not self.left:
+            if not self.left:
                 break
             opened = self._take(flow_key)
             if opened is not None:
                 self.left -= 1
                 self.lost_flows.news.record(opened, now)
-                due += [(vm, opened) for vm in vms]
+                due += [(vm, opened) for vm in self.lost_flows.some_vms()]
         return due
 
     def _take(self, flow_key: bytes) -> FlowOpened | None:
