Keep one record a placement, and no references that only tests read

RecentPlacements had two dicts that had to agree on their keys, in place of one of records. TokenRouter kept the last_served_at and outgoing_reports of its parts for tests alone; two tests name the parts now, with the same assertions. Tests of tokens, flow world, entry core, intake and recorded bytes pass.

--- a/libs/tokens/src/kumquatmux_tokens/flow.py
+++ b/libs/tokens/src/kumquatmux_tokens/flow.py
@@ -47,7 +47,8 @@
         named_ack_number: Acknowledgment number of the latest of the packets in a row
             that carry that token and acknowledge more than the one before.
         answers_in_a_row: Number of such packets after the first one.
-        own_answers: Most answers in a row under the token of the flow's server. One
+        own_answers: Most answers in a row under the token of the flow's server, at
+            least 1 after an answer to data that was sent there under any token. One
             shows that the flow is open there, if no late answer came twice.
         latest_copy: Number of the latest SYN transmission that was forwarded here.
         has_missed_copy: Whether an earlier transmission of the SYN did not pass here,
--- a/libs/tokens/src/kumquatmux_tokens/questions.py
+++ b/libs/tokens/src/kumquatmux_tokens/questions.py
@@ -47,11 +47,10 @@
     """Tells where a flow opened whose SYN may have gone to several servers.
 
     Attributes:
-        sender: The VM that saw it open, or sent its SYN to several servers.
+        sender: The VM that saw it open.
         flow_key: 12-byte flow key.
         sequence_number: Sequence number of one of the flow's packets.
-        token: Token that the caller went on with, 0 if the VM did not see the flow
-            open.
+        token: Token of the server that it is open at.
     """
 
     sender: VmId
@@ -61,6 +60,6 @@
 
 
 class FlowNewsQuestion(NamedTuple):
-    """Asks, by a VM that has just started, for the latest ``FlowOpened`` messages."""
+    """Asks for the latest news, by a VM that has just started or was out of touch."""
 
     sender: VmId
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -56,10 +56,8 @@
         lost_flows: Decides whether flows whose servers seem to be gone are reset.
         opened_flows: What other VMs are told of flows with several servers.
         load_reporter: Reports this VM's load to the other VMs of the zone.
-        outgoing_reports: State of the load reports to each other VM, by receiver.
         selector: Selects the servers of new flows.
         syn_router: Decides what to do with each SYN packet.
-        last_served_at: Time when each service last had a server for a flow.
         lost_holders: Control VMs of the zones that nothing has been heard of for long
             enough that a live server would report to another one by now.
         probes: Probes of the servers whose flows may be lost.
@@ -99,7 +97,6 @@
         self.load_reporter = LoadReporter(
             settings, self.directory, self.load_tracker, self.coordinators
         )
-        self.outgoing_reports = self.load_reporter.outgoing_reports
         self.selector = ServerSelector(settings, random, self.pools, self.recent)
         self.syn_router = SynRouter(
             settings,
@@ -109,7 +106,6 @@
             self.load_reporter,
             now,
         )
-        self.last_served_at = self.syn_router.last_served_at
         self.lost_holders: frozenset[VmId] = frozenset()
         self.is_known_late: Callable[[ServerRecord, float], bool] = _is_called_late
         self.listening_since = now
@@ -174,9 +170,7 @@
         if has_failed and entry is not None and self._is_cut_off(entry.record):
             result = ProbeResult.NOT_MADE
         packets = self.probes.record(token, result, now, self.listening_since)
-        if entry is None or entry.token != token:
-            return []
-        if not self.gone.is_lost(entry, now):
+        if entry is None or entry.token != token or not self.gone.is_lost(entry, now):
             return []
         if self._is_over(entry, now):
             return packets
--- a/libs/tokens/tests/test_router.py
+++ b/libs/tokens/tests/test_router.py
@@ -574,7 +574,7 @@
         assert (
             router.apply_placement_answer(packet.header, answer, NOW_S).token == token
         )
-    assert router.outgoing_reports[coordinator].used_reservation == 9
+    assert router.load_reporter.outgoing_reports[coordinator].used_reservation == 9
 
 
 def test_unusable_server_in_a_placement_answer_is_replaced():
@@ -788,7 +788,7 @@
     router.route_packet(make_data_packet(make_server_record("i-1").token), NOW_S + 0.1)
     draining = make_server_record("i-1", number=2, phase=Phase.DRAINING)
     router.store_record(draining, NOW_S + 0.2)
-    router.last_served_at.clear()
+    router.syn_router.last_served_at.clear()
     late = make_syn(retransmission_count=1)
     assert router.route_packet(late, NOW_S + 0.3) == Drop("flow-open")
 
@@ -1068,9 +1068,9 @@
     router = make_router(make_server_record("i-1"))
     ask_placement(router, "e2", NOW_S)
     router.remove_expired(NOW_S + 9.9)
-    assert router.recent.token_by_flow
+    assert router.recent.by_flow
     router.remove_expired(NOW_S + 10.0)
-    assert not router.recent.token_by_flow
+    assert not router.recent.by_flow
     assert not router.recent.placed
 
 
