Read priorities, targets, warm-ups and VM limits from configuration and settings

Decisions under load need what the document and the settings file already say and the programs dropped: priority, target latency, timeout and kind of a route, warm-up of a service, link, descriptors and memory of a VM, the limit at cold servers. They are read into Route, RouteSet and EntrySettings; nothing decides by them yet. An odd number that only advises is taken as not given, so that no document that was acknowledged goes out of force. The recorded names gain the new fields at the end of each list; those that were there stay. docs/design/overload.md says what the parts are.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/settings.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/settings.py
@@ -7,6 +7,32 @@
 from kumquatmux_core.identity import Endpoint, VmId, ZoneName
 
 
+class VmLimits(NamedTuple):
+    """What a VM has; 0 where its settings do not say.
+
+    Attributes:
+        link_bytes_per_s: Bytes a second that its network link carries.
+        max_descriptors: File descriptors that a process may have open.
+        memory_bytes: Memory that a process may use.
+    """
+
+    link_bytes_per_s: float = 0.0
+    max_descriptors: int = 0
+    memory_bytes: int = 0
+
+
+class WarmUpLimits(NamedTuple):
+    """Limit of the openings that a cold server gets in any second.
+
+    Attributes:
+        overage: Factor of the requests a second that the server bears.
+        slack: Openings beyond that.
+    """
+
+    overage: float
+    slack: float
+
+
 class EntrySettings(NamedTuple):
     """Who an entry VM is and whom it follows.
 
@@ -20,6 +46,8 @@
         metrics: TCP endpoint on which metrics are read.
         seeds: Control VMs to begin with.
         stop_s: Seconds a stopping entry VM serves on until the fabric has let go.
+        limits: What the VM has.
+        warm_up_limits: Limit of the openings at a cold server, None for no limit.
     """
 
     vm: VmId
@@ -30,3 +58,5 @@
     metrics: Endpoint
     seeds: tuple[VmId, ...]
     stop_s: float = 2.6
+    limits: VmLimits = VmLimits()
+    warm_up_limits: WarmUpLimits | None = None
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 import xxhash
@@ -29,11 +30,20 @@
         address: 6 bytes: the IPv4 address and port that callers send to.
         weighted_services: Weighted services, at least one of them with a weight above
             0.
+        priority: Priority of its requests; 0 is the highest.
+        target_latency_s: Seconds within which a request should be answered, infinity
+            if the document does not say.
+        timeout_s: Seconds after which a request has failed, infinity likewise.
+        is_upload: Whether its callers send bulk data.
     """
 
     name: str
     address: Address
     weighted_services: tuple[WeightedService, ...]
+    priority: int = 0
+    target_latency_s: float = math.inf
+    timeout_s: float = math.inf
+    is_upload: bool = False
 
     def select_service(self, flow_key: bytes) -> ServiceName:
         """Return the service of a flow, which is the same for every SYN of the flow.
@@ -50,6 +60,20 @@
         raise AssertionError(f"route {self.name} has no service with a weight above 0")
 
 
+class WarmUp(NamedTuple):
+    """What servers of a service bear while they are cold.
+
+    Attributes:
+        service: Name of the service.
+        duration_s: Seconds for which a server is cold after its start.
+        requests_per_s: Requests a second that a cold server bears.
+    """
+
+    service: ServiceName
+    duration_s: float
+    requests_per_s: float
+
+
 class RouteSet(NamedTuple):
     """The part of a configuration document that routing needs.
 
@@ -58,12 +82,14 @@
         routes: The document's routes.
         services: Names of the document's services.
         idle_timeout_s: Idle time in seconds after which a flow may be dropped.
+        warm_ups: Warm-up of each service whose servers start cold.
     """
 
     document_number: int
     routes: tuple[Route, ...]
     services: frozenset[ServiceName]
     idle_timeout_s: float
+    warm_ups: tuple[WarmUp, ...] = ()
 
 
 class RouteTable:
@@ -74,12 +100,14 @@
     Attributes:
         document_number: Number of the document in force, 0 for none.
         routes: Routes of that document, by address.
+        warm_ups: Warm-up of each service whose servers start cold, by service.
         removed_at: Removal times of routes that are no longer in force, by address.
     """
 
     def __init__(self) -> None:
         self.document_number = 0
         self.routes: dict[bytes, Route] = {}
+        self.warm_ups: dict[ServiceName, WarmUp] = {}
         self.removed_at: dict[bytes, float] = {}
 
     def install(self, route_set: RouteSet, now: float) -> bool:
@@ -89,6 +117,7 @@
         previous_routes = self.routes
         self.document_number = route_set.document_number
         self.routes = {route.address: route for route in route_set.routes}
+        self.warm_ups = {one.service: one for one in route_set.warm_ups}
         for address in previous_routes.keys() - self.routes.keys():
             self.removed_at[address] = now
         for address in self.routes:
--- a/tests/adapter/test_manifest.py
+++ b/tests/adapter/test_manifest.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import math
 
 import pytest
 from hypothesis import given
@@ -19,6 +20,7 @@
             "route-type": "safe",
             "timeout-ms": 2000,
             "priority": 2,
+            "target-latency-ms": 400,
             "backend": "entries",
         },
         {
@@ -57,6 +59,38 @@
     assert [share.weight for share in two.weighted_services] == [90, 10]
 
 
+def test_a_manifest_gives_what_decides_under_load():
+    """Guards against load decisions that know no priority, target or warm-up."""
+
+    def change(manifest):
+        manifest["routes"][1]["route-type"] = "upload"
+        manifest["backends"][0] |= {"warmup-s": 2.0, "warmup-per-s": 7}
+
+    routes = read_routes(changed(change)).ok
+    one, two = routes.routes
+    assert (one.priority, one.target_latency_s, one.timeout_s) == (2, 0.4, 2.0)
+    assert (two.priority, two.target_latency_s) == (0, math.inf)
+    assert (one.is_upload, two.is_upload) == (False, True)
+    assert routes.warm_ups == (("entries", 2.0, 7),)
+
+
+@pytest.mark.parametrize("value", ["x", -1, True, [], {}, 1e300])
+def test_odd_advice_is_taken_as_not_given(value):
+    """Guards against routes that an odd number takes out of force."""
+
+    def change(manifest):
+        manifest["routes"][0] |= {"priority": value, "target-latency-ms": value}
+        manifest["backends"][0] |= {"warmup-s": value, "warmup-per-s": value}
+
+    routes = read_routes(changed(change)).ok
+    assert (routes.routes[0].priority, routes.routes[0].target_latency_s) == (
+        0,
+        math.inf,
+    )
+    assert routes.warm_ups == ()
+    assert read_manifest(changed(change)).is_ok()
+
+
 def drop(*path):
     def change(manifest):
         place = manifest
--- a/tests/adapter/test_node_file.py
+++ b/tests/adapter/test_node_file.py
@@ -82,6 +82,19 @@
     assert settings.stop_s < 4
 
 
+def test_an_entry_vm_knows_what_its_vm_has(tmp_path):
+    """Guards against limits that are read in the wrong unit."""
+    limits = {"link-mbps": 2.0, "max-fds": 4100, "memory-mb": 139, "cpu-share": 0.5}
+    bounds = {"warmup-overage": 1.5, "warmup-slack": 5}
+    node = {**EDGE, "limits": limits, "bounds": bounds}
+    settings = entry_settings(read_node_file(written(tmp_path, node)).ok).ok
+    assert settings.limits == (250_000, 4100, 139_000_000)
+    assert settings.warm_up_limits == (1.5, 5)
+    settings = entry_settings(read_node_file(written(tmp_path, EDGE)).ok).ok
+    assert settings.limits == (0, 0, 0)
+    assert settings.warm_up_limits is None
+
+
 def test_all_that_is_wrong_is_named_at_once(tmp_path):
     node = {**NODE, "bind-addrs": {}, "data-dir": None, "seed-nodes": ["x"]}
     problem = registrar_settings(read_node_file(written(tmp_path, node)).ok).error
