Keep evacuated zones with a revision beside the document in the replicated log

An operator's order to evacuate an availability zone has to survive what a document survives. The log carries such orders as entries of their own kind, and the state a revision that moves only on a change.

That was harmless for documents, as their numbers decide; orders would count twice, so that its revision ran ahead of the others'. The state begins from the disk again now.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/agreed.py
@@ -59,7 +59,6 @@
         self.settings = settings
         self.store = store
         self.random = random
-        self.documents = DocumentLog()
         self.sends: list[AgreedSends] = []
         self.replies: list[Reply] = []
         self.reopen_at: float | None = None
@@ -179,6 +178,12 @@
             self.documents.restore(snapshot.data)
 
     def _new_replica(self) -> Replica:
+        """Return the replica of what the disk holds.
+
+        The state begins from there too: the entries that follow are applied again, and
+        orders that ran twice would count as further changes.
+        """
+        self.documents = DocumentLog()
         restored = self.store.restored
         self._restore(restored.snapshot)
         log_decision(
--- a/libs/daemons/src/kumquatmux_daemons/registrar/folder.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/folder.py
@@ -19,7 +19,7 @@
 from kumquatmux_daemons.registrar.first_start import FILE_NAME as FIRST_START
 from kumquatmux_daemons.registrar.first_start import noted_founders
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
-from kumquatmux_settings.documents import document_of
+from kumquatmux_settings.documents import read_entry, read_snapshot
 from kumquatmux_storage import Identity, Store, open_or_create
 from kumquatmux_storage.disk import Disk, open_folder, problem_from_os_error
 from kumquatmux_storage.files import (
@@ -62,18 +62,23 @@
 def check_documents(store: Store) -> Result[Store, Problem]:
     """Return the store if the documents in it can be read."""
     snapshot = store.restored.snapshot
-    contents = [(SNAPSHOT, snapshot.data)] if snapshot.data else []
+    if snapshot.data:
+        state = read_snapshot(snapshot.data)
+        if state.is_error():
+            return Error(_unusable(SNAPSHOT, state.error))
     for entry in store.restored.entries:
         if entry.kind == EntryKind.DATA:
-            contents.append((LOG, entry.data))
-    for name, content in contents:
-        read = document_of(content)
-        if read.is_error():
-            detail = f"{read.error.detail[:DETAIL_CHARACTERS]}; {RECOVERY_ADVICE}"
-            return Error(Problem("file-content", detail, name))
+            read = read_entry(entry.data)
+            if read.is_error():
+                return Error(_unusable(LOG, read.error))
     return Ok(store)
 
 
+def _unusable(name: str, problem: Problem) -> Problem:
+    detail = f"{problem.detail[:DETAIL_CHARACTERS]}; {RECOVERY_ADVICE}"
+    return Problem("file-content", detail, name)
+
+
 def founders_of(
     settings: RegistrarSettings, disk: Disk
 ) -> Result[tuple[VmId, ...], Problem]:
