Tell entry VMs of evacuated zones in every answer of the feed

An entry VM has to know the evacuated zones with its first answer, and a change at once. FeedAnswer carries their revision and names as its last fields, two bytes where there are none, as the codec leaves no field out; answers to control VMs carry none. A change is pushed once to each follower that asked for pushes; the next poll makes a lost push good. A follower takes a higher revision only. Intake refuses a message whose list is out of bounds, as part of it would be another list.

--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -55,6 +55,9 @@
 MAX_VMS = 4096
 """Most VMs in one list."""
 
+MAX_EVACUATED_ZONES = 1024
+"""Most evacuated zones in one message; part of a longer list would be another one."""
+
 MAX_MEMBER_TEXTS = 1024
 """Most names in a configuration of the replicated log."""
 
@@ -96,7 +99,10 @@
 
 @_take_in.register
 def _(message: FeedAnswer) -> Result[Any, Problem]:
-    if not _is_feed_bounded(message, message.since):
+    revision, zones = message.evacuation_revision, message.evacuated_zones
+    if not _is_feed_bounded(message, message.since, revision):
+        return _refused(OUT_OF_BOUNDS)
+    if len(zones) > MAX_EVACUATED_ZONES or not _are_texts(zones):
         return _refused(OUT_OF_BOUNDS)
     return Ok(
         message._replace(
--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -38,7 +38,12 @@
 from kumquatmux_daemons.token_entry.effects import Datagram
 from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_daemons.transport.datagrams import PeerDatagrams
-from kumquatmux_daemons.transport.intake import NUMBER_LIMIT, record_problem, take_in
+from kumquatmux_daemons.transport.intake import (
+    MAX_EVACUATED_ZONES,
+    NUMBER_LIMIT,
+    record_problem,
+    take_in,
+)
 from kumquatmux_daemons.transport.parts import PLAIN, Cutter
 from kumquatmux_platform import packets
 from kumquatmux_platform.calls import PlatformCalls, pack
@@ -620,3 +625,24 @@
     assert record_problem(record) == ""
     assert packets.names_server(record.report.lifetime.name)
     assert SOFT.decode(SOFT.encode(TokenAnswer(PEER, record))).ok.record == record
+
+
+# Guards against a list of zones that takes memory without end, or of which a part is
+# taken for the whole.
+@pytest.mark.parametrize(
+    ("revision", "zones", "is_taken"),
+    [
+        (1, ("b",) * MAX_EVACUATED_ZONES, True),
+        (1, ("b",) * (MAX_EVACUATED_ZONES + 1), False),
+        (1, (LONG_TEXT,), False),
+        (-1, ("b",), False),
+        (NUMBER_LIMIT, ("b",), False),
+    ],
+)
+def test_evacuated_zones_are_taken_whole_or_not_at_all(revision, zones, is_taken):
+    answer = FeedAnswer(PEER, "a", 1, 0, 0, (), 0, b"", (PEER,), (), True, 0)
+    answer = answer._replace(evacuation_revision=revision, evacuated_zones=zones)
+    taken = take_in(PEER, answer)
+    assert taken.is_ok() == is_taken
+    if is_taken:
+        assert taken.ok == answer
--- a/libs/registry/src/kumquatmux_registry/feed.py
+++ b/libs/registry/src/kumquatmux_registry/feed.py
@@ -57,6 +57,9 @@
         is_current: Whether a consensus leader has recently confirmed that the sender's
             replica is up to date.
         members: Digest of both lists.
+        evacuation_revision: Revision of the evacuated zones; 0 if none ever was, or for
+            a control VM, which replicates them by consensus.
+        evacuated_zones: Availability zones whose servers get no new flows.
     """
 
     sender: VmId
@@ -71,6 +74,8 @@
     entries: tuple[VmId, ...]
     is_current: bool
     members: int = 0
+    evacuation_revision: int = 0
+    evacuated_zones: tuple[ZoneName, ...] = ()
 
 
 MESSAGE_TYPES: dict[int, type] = {0x0601: FeedPoll, 0x0602: FeedAnswer}
--- a/libs/registry/src/kumquatmux_registry/follower.py
+++ b/libs/registry/src/kumquatmux_registry/follower.py
@@ -9,7 +9,7 @@
 from kumquatmux_core.identity import VmId, ZoneName
 from kumquatmux_registry.feed import FeedAnswer, FeedPoll
 from kumquatmux_registry.listening import PAUSED_AFTER_S, Listening
-from kumquatmux_registry.publisher import Document
+from kumquatmux_registry.publisher import NO_EVACUATIONS, Document, EvacuatedZones
 from kumquatmux_registry.records import ServerRecord
 
 
@@ -97,6 +97,7 @@
     Attributes:
         settings: Settings of the follower.
         document: Newest settings document received.
+        evacuations: Newest list of evacuated zones received.
         peers: Entry VMs in this VM's zone, including this one.
         joined_lists: Lists of control VMs that ``peers`` is made of.
         sources: State of each known control VM, by name.
@@ -111,6 +112,7 @@
         self.settings = settings
         self.is_stopping = False
         self.document = Document()
+        self.evacuations = NO_EVACUATIONS
         self.peers: tuple[VmId, ...] = ()
         self.joined_lists: list[tuple[VmId, ...]] = []
         self.sources: dict[VmId, SourceState] = {}
@@ -252,6 +254,7 @@
             self.add(vm)
         if answer.zone == self.settings.zone and not self.settings.is_control:
             self._join_lists(now)
+        self._store_evacuations(answer)
         self._store_document(answer)
 
     def request_all_records(self) -> None:
@@ -357,6 +360,21 @@
             else:
                 source.late_records.pop(name, None)
 
+    def _store_evacuations(self, answer: FeedAnswer) -> None:
+        """Keep the evacuated zones if they are newer, so that none goes back."""
+        former_revision = self.evacuations.revision
+        if answer.evacuation_revision > former_revision:
+            self.evacuations = EvacuatedZones(
+                answer.evacuation_revision, answer.evacuated_zones
+            )
+            log_decision(
+                "evacuation-in-force",
+                revision=answer.evacuation_revision,
+                former=former_revision,
+                zones=",".join(answer.evacuated_zones),
+                source=answer.sender,
+            )
+
     def _store_document(self, answer: FeedAnswer) -> None:
         if answer.content and answer.document > self.document.number:
             previous_number = self.document.number
--- a/libs/registry/src/kumquatmux_registry/publisher.py
+++ b/libs/registry/src/kumquatmux_registry/publisher.py
@@ -24,6 +24,21 @@
     content: bytes = b""
 
 
+class EvacuatedZones(NamedTuple):
+    """The availability zones whose servers get no new flows.
+
+    Attributes:
+        revision: Revision of the list; 0 if no zone was ever evacuated.
+        zones: Names of the zones.
+    """
+
+    revision: int = 0
+    zones: tuple[ZoneName, ...] = ()
+
+
+NO_EVACUATIONS = EvacuatedZones()
+
+
 class FollowerState(NamedTuple):
     """A VM that polls the feed, as tracked by the publisher.
 
@@ -32,11 +47,13 @@
         last_poll_at: Time of the latest poll, in seconds of the monotonic clock.
         document_sent_at: Time at which a document was last sent to the VM, in seconds
             of the monotonic clock.
+        evacuation_revision: Revision of the evacuated zones in the latest answer.
     """
 
     poll: FeedPoll
     last_poll_at: float
     document_sent_at: float = -math.inf
+    evacuation_revision: int = 0
 
 
 class PublisherSettings(NamedTuple):
@@ -65,6 +82,7 @@
         settings: Settings of the publisher.
         leases: Leases and server records of this control VM.
         document: Newest committed settings document.
+        evacuations: Newest committed list of evacuated zones.
         is_current: Whether a consensus leader has recently confirmed that the local
             replica is up to date.
         followers: VMs that poll this control VM, by name.
@@ -77,6 +95,7 @@
         self.settings = settings
         self.leases = leases
         self.document = Document()
+        self.evacuations = NO_EVACUATIONS
         self.is_current = False
         self.followers: dict[VmId, FollowerState] = {}
         self.member_lists = MemberLists(settings.vm)
@@ -123,8 +142,12 @@
         """Return whether a follower that requested pushes lacks anything."""
         poll = follower.poll
         lacks_records = poll.position < self.leases.table.position
+        lacks_evacuations = (
+            not poll.is_control
+            and follower.evacuation_revision < self.evacuations.revision
+        )
         return poll.wants_push and (
-            lacks_records or self._is_document_due(follower, now)
+            lacks_records or lacks_evacuations or self._is_document_due(follower, now)
         )
 
     def _members_for(self, poll: FeedPoll) -> Members:
@@ -148,7 +171,10 @@
         if sends_document:
             advanced_poll = advanced_poll._replace(document=self.document.number)
             follower = follower._replace(document_sent_at=now)
-        self.followers[poll.sender] = follower._replace(poll=advanced_poll)
+        evacuations = NO_EVACUATIONS if poll.is_control else self.evacuations
+        self.followers[poll.sender] = follower._replace(
+            poll=advanced_poll, evacuation_revision=evacuations.revision
+        )
         sends_lists = poll.members != members.digest
         answer = FeedAnswer(
             own_settings.vm,
@@ -163,6 +189,8 @@
             members.entries if sends_lists else (),
             self.is_current,
             members.digest,
+            evacuations.revision,
+            evacuations.zones,
         )
         if self.shared != answer:
             self.shared = answer
--- a/libs/registry/tests/test_feed.py
+++ b/libs/registry/tests/test_feed.py
@@ -5,7 +5,12 @@
 from kumquatmux_registry.feed import MESSAGE_TYPES
 from kumquatmux_registry.follower import Follower, FollowerSettings
 from kumquatmux_registry.leases import Leases
-from kumquatmux_registry.publisher import Document, Publisher, PublisherSettings
+from kumquatmux_registry.publisher import (
+    Document,
+    EvacuatedZones,
+    Publisher,
+    PublisherSettings,
+)
 from kumquatmux_registry.records import Lifetime, Phase, Report
 from kumquatmux_registry.settings import RegistrySettings
 
@@ -481,3 +486,58 @@
     assert not mine.is_told_all_by(pushed)
     poll_publisher(mine, source, 2.0)
     assert mine.is_told_all_by(poll_publisher(mine, source, 2.5)[0])
+
+
+# Guards against an entry VM that starts and sends flows to a zone that was evacuated
+# before.
+def test_the_first_answer_names_the_evacuated_zones():
+    source = make_publisher()
+    source.evacuations = EvacuatedZones(3, ("b", "c"))
+    mine = make_follower()
+    poll_publisher(mine, source, 1.0)
+    assert mine.evacuations == (3, ("b", "c"))
+
+
+# Guards against an order that waits for the next poll, and against pushes without end.
+def test_a_change_of_evacuated_zones_is_pushed_once():
+    source = make_publisher()
+    mine = make_follower()
+    poll_publisher(mine, source, 0.0)
+    source.evacuations = EvacuatedZones(1, ("b",))
+    [(vm, answer)] = source.push(0.1)
+    assert (vm, answer.evacuation_revision, answer.evacuated_zones) == ("e1", 1, ("b",))
+    assert source.push(0.2) == []
+
+
+def test_the_next_poll_recovers_a_lost_push_of_evacuated_zones():
+    source = make_publisher()
+    mine = make_follower()
+    poll_publisher(mine, source, 0.0)
+    source.evacuations = EvacuatedZones(1, ("b",))
+    source.push(0.1)
+    poll_publisher(mine, source, 0.5)
+    assert mine.evacuations == (1, ("b",))
+
+
+# Guards against an entry VM that goes back by the word of a control VM that lags.
+def test_evacuated_zones_never_go_back():
+    mine = make_follower(seeds=("c1", "c2"))
+    near, far = make_publisher("c1"), make_publisher("c2", incarnation=9)
+    near.evacuations = EvacuatedZones(2, ())
+    far.evacuations = EvacuatedZones(1, ("b",))
+    poll_publisher(mine, near, 0.0)
+    poll_publisher(mine, far, 0.1)
+    assert mine.evacuations == (2, ())
+    poll_publisher(mine, make_publisher("c2", incarnation=10), 0.2)
+    assert mine.evacuations == (2, ())
+
+
+# Guards against a control VM that learns of evacuations other than by consensus.
+def test_control_vms_are_told_of_no_evacuated_zones():
+    source = make_publisher()
+    other = Follower(FollowerSettings("c2", "a", True, ("c1",)))
+    poll_publisher(other, source, 0.0)
+    source.evacuations = EvacuatedZones(1, ("b",))
+    assert source.push(0.1) == []
+    [answer] = poll_publisher(other, source, 0.2)
+    assert (answer.evacuation_revision, answer.evacuated_zones) == (0, ())
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -46,12 +46,22 @@
     ),
 }
 APPENDED_FIELDS = {
-    "FeedPoll": ("members",),
-    "FeedAnswer": ("members",),
-    "FlowAnswer": ("seen_token",),
-    "PlaceQuestion": ("sequence_number",),
+    "FeedPoll": (("members",),),
+    "FeedAnswer": (("members",), ("evacuation_revision", "evacuated_zones")),
+    "FlowAnswer": (("seen_token",),),
+    "PlaceQuestion": (("sequence_number",),),
 }
-"""Fields that message types got since; older senders leave them out."""
+"""Fields that message types got since, change by change; older senders leave them out.
+
+Each change may have come after senders that knew those before it.
+"""
+
+
+def appended_fields(name):
+    """Return what senders of each age leave out, the newest first: they send all."""
+    changes = APPENDED_FIELDS.get(name, ())
+    starts = range(len(changes), -1, -1)
+    return [tuple(one for change in changes[at:] for one in change) for at in starts]
 
 
 def recorded(name):
@@ -87,7 +97,7 @@
     assert type(message) is message_type
     values = msgspec.msgpack.decode(data[HEADER_BYTES:])
     appended = message_type._fields[len(values) :]
-    assert appended in ((), APPENDED_FIELDS.get(message_type.__name__))
+    assert appended in appended_fields(message_type.__name__)
     values += [message_type._field_defaults[name] for name in appended]
     again = data[:HEADER_BYTES] + msgspec.msgpack.encode(values)
     assert CHANNELS[channel].encode(message) == again
@@ -102,7 +112,7 @@
         for text in rows[name]["bytes"]
     }
     all_fields = len(kinds[name]._fields)
-    assert lengths == {all_fields - len(APPENDED_FIELDS[name]), all_fields}
+    assert lengths == {all_fields - len(one) for one in appended_fields(name)}
 
 
 @pytest.mark.parametrize("text", recorded("envelopes")["envelopes"])
@@ -167,8 +177,9 @@
     assert log.snapshot() == snapshot
 
 
-def test_recorded_documents_are_applied_and_the_snapshot_is_the_same():
-    base = recorded("documents")
+@pytest.mark.parametrize("part", [None, "evacuations"])
+def test_recorded_documents_are_applied_and_the_snapshot_is_the_same(part):
+    base = recorded("documents")[part] if part else recorded("documents")
     documents = DocumentLog()
     for text in base["entries"]:
         documents.apply(bytes.fromhex(text))
