Take operators' orders to evacuate availability zones at control VMs

POST and DELETE /v1/evacuations/ZONE have an order agreed, GET /v1/evacuations reads the zones with a quorum. A leader proposes each order, also one that repeats the state it knows: that may be old just after an election, and applying a repeat changes nothing. A stopping VM, a follower and the voters rule of a first order put orders off as they do documents. A name that is no printable text of 1 to 255 bytes, and a 65th zone, are refused with 400. The metrics count POST and show evacuated_zones.

Two tests follow what moved: test_founding.py takes SEATING_S from seats.py, and the mutations of test_registrar_faults.py replace DocumentLog._apply_document and Orders._elsewhere, with the same seeds and findings demanded.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/calls.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/calls.py
@@ -7,10 +7,11 @@
 
 from expression import Result
 
-from kumquatmux_core.identity import Endpoint, ServiceName, VmId
+from kumquatmux_core.identity import Endpoint, ServiceName, VmId, ZoneName
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.plain_http.server import HttpAnswer, HttpCall
 from kumquatmux_registry.records import Report
+from kumquatmux_settings.evacuations import Evacuations
 
 
 class ReportCall(NamedTuple):
@@ -41,7 +42,24 @@
     """An operator asks for the newest document."""
 
 
-Call = ReportCall | LeaveCall | PutDocument | ReadDocument
+class OrderEvacuation(NamedTuple):
+    """An operator orders that a zone is evacuated, or that it is no longer.
+
+    Attributes:
+        zone: The zone.
+        is_evacuated: Whether it is to be evacuated.
+    """
+
+    zone: ZoneName
+    is_evacuated: bool
+
+
+class ReadEvacuations(NamedTuple):
+    """An operator asks which zones are evacuated."""
+
+
+OperatorCall = PutDocument | ReadDocument | OrderEvacuation | ReadEvacuations
+Call = ReportCall | LeaveCall | OperatorCall
 
 
 class Outcome(StrEnum):
@@ -65,6 +83,7 @@
         report_to: Where the backend server should report from now on, if known.
         leader: The VM to call instead, with ``ELSEWHERE``.
         problem: Why, unless it was done.
+        evacuations: The evacuated zones that were asked for.
     """
 
     outcome: Outcome
@@ -72,6 +91,7 @@
     report_to: Endpoint | None = None
     leader: VmId | None = None
     problem: Problem | None = None
+    evacuations: Evacuations | None = None
 
 
 class CallFormat(Protocol):
--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -7,46 +7,37 @@
 from functools import singledispatchmethod
 from typing import Any, NamedTuple
 
-from kumquatmux_agreement.events import (
-    ChangeMembership,
-    MessageReceived,
-    Propose,
-    Read,
-    Reply,
-)
-from kumquatmux_agreement.events import RequestOutcome as ReplicaOutcome
+from kumquatmux_agreement.events import MessageReceived
 from kumquatmux_agreement.messages import Message as ReplicaMessage
-from kumquatmux_agreement.voter_selection import (
-    VoterCandidate,
-    VoterSelectionView,
-    next_voter_vms,
-    required_voter_count,
-)
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import Endpoint, ServiceName, VmId, ZoneName
-from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.failures import log_contained
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.calls import (
     Answer,
     Call,
     LeaveCall,
+    OperatorCall,
     Outcome,
-    PutDocument,
-    ReadDocument,
     ReportCall,
 )
+from kumquatmux_daemons.registrar.orders import Answered, Orders
+from kumquatmux_daemons.registrar.seats import Seats
 from kumquatmux_daemons.registrar.settings import RegistrarSettings
 from kumquatmux_registry.endings import LeaveNotice
 from kumquatmux_registry.feed import FeedAnswer, FeedPoll
 from kumquatmux_registry.follower import Follower, FollowerSettings
 from kumquatmux_registry.leases import Leases
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
-from kumquatmux_registry.publisher import Document, Publisher, PublisherSettings
+from kumquatmux_registry.publisher import (
+    Document,
+    EvacuatedZones,
+    Publisher,
+    PublisherSettings,
+)
 from kumquatmux_registry.records import Phase, ServerRecord
 from kumquatmux_registry.saved import SavedServers
 from kumquatmux_registry.settings import RegistrySettings
-from kumquatmux_settings.documents import NumberedDocument, entry_of
 
 POLL_S = 0.5
 """Seconds between polls of the other control VMs."""
@@ -66,15 +57,9 @@
 SEATS_S = 0.5
 """Seconds between looks at who should vote."""
 
-GONE_S = 2.0
-"""Seconds without a word after which a voter's seat may go to a VM that is there."""
-
 UNFOUNDED_S = 5.0
 """Seconds between lines that say that no cluster is known."""
 
-SEATING_S = 4.0
-"""Seconds that a leader's first order waits for voters that have not answered it."""
-
 LATE_REPORTS = 2.5
 """Reports a backend server may miss before it is late, beside its time to move on."""
 
@@ -95,13 +80,6 @@
     message: Any
 
 
-class Answered(NamedTuple):
-    """The answer to a call."""
-
-    token: str
-    answer: Answer
-
-
 class CoreParts(NamedTuple):
     """What of a registrar has a disk.
 
@@ -124,6 +102,8 @@
         leases: The backend servers.
         publisher: The feed to others.
         follower: The feeds of the other control VMs.
+        seats: Which control VMs vote.
+        orders: The answers to operators.
         is_stopping: Whether it sends callers elsewhere.
         stopping_vms: Other control VMs that said so of themselves, until they say
             otherwise; they take no reports.
@@ -156,6 +136,8 @@
         self.follower = Follower(
             FollowerSettings(settings.vm, settings.zone, True, settings.seeds)
         )
+        self.seats = Seats(settings, self.agreed, self.follower, now)
+        self.orders = Orders(settings.vm, self.agreed, self.seats)
         self.is_stopping = False
         self.stopping_vms: set[VmId] = set()
         self.started_at = now
@@ -164,7 +146,6 @@
         self.saved_position = self.leases.table.position
         self.out: list[Sent | Answered] = []
         self.due: dict[str, float] = {}
-        self.leads_since: float | None = None
         self.has_unpushed = False
         self.pushed_at = -math.inf
         # Bound once: binding such a method anew costs more than most of its calls.
@@ -210,7 +191,7 @@
         if self._is_due("save", SAVE_S, now):
             self._save()
         if self._is_due("seats", SEATS_S, now):
-            self._look_at_seats(now)
+            self.seats.look(now)
         if now >= self.started_at + UNFOUNDED_S:
             self._tell_unfounded(now)
         return self._effects(now)
@@ -218,6 +199,7 @@
     def stop(self, now: float) -> list[Sent | Answered]:
         """Send callers elsewhere and hand leadership over."""
         self.is_stopping = True
+        self.orders.is_stopping = True
         self.follower.is_stopping = True
         self.agreed.hand_over(now)
         return self._effects(now)
@@ -269,7 +251,7 @@
     @_handle_call.register
     def _(self, call: ReportCall, token: str, now: float) -> None:
         if self.is_stopping:
-            self._unavailable(token, "stopping")
+            self.orders.put_off(token, "stopping")
             return
         taken = self.leases.report(call.report, now)
         if taken.is_error():
@@ -290,34 +272,21 @@
         self._answer(token, Answer(Outcome.DONE))
 
     @_handle_call.register
-    def _(self, call: PutDocument, token: str, now: float) -> None:
-        newest = self.agreed.documents.newest
-        if call.number <= newest.number:
-            log_decision("document-known", number=call.number, newest=newest.number)
-            self._answer(token, Answer(Outcome.DONE))
-        elif not self.agreed.is_leader or self.is_stopping:
-            self._elsewhere(token)
-        elif not newest.number and not self._is_seated(now):
-            self._unavailable(token, "too-few-voters")
-        else:
-            entry = entry_of(NumberedDocument(call.number, call.content))
-            self.agreed.give(Propose(entry, token), now)
-
-    @_handle_call.register
-    def _(self, call: ReadDocument, token: str, now: float) -> None:
-        if not self.agreed.is_leader:
-            self._elsewhere(token)
-        else:
-            self.agreed.give(Read(token), now)
+    def _(self, call: OperatorCall, token: str, now: float) -> None:
+        self.orders.handle(call, token, now)
 
     def _effects(self, now: float) -> list[Sent | Answered]:
-        self._answer_replies()
+        self.out.extend(self.orders.answers())
         newest = self.agreed.documents.newest
+        evacuations = self.agreed.documents.evacuations
         self.publisher.is_current = self.agreed.is_current()
         if newest.number > self.publisher.document.number:
             self.publisher.document = Document(newest.number, newest.content)
             self._name_services(self.services_of(newest.content))
             self._push(now)
+        if evacuations.revision > self.publisher.evacuations.revision:
+            self.publisher.evacuations = EvacuatedZones(*evacuations)
+            self._push(now)
         sends = self.agreed.sends
         self.out.extend(Sent(one.vm, one.message) for one in sends)
         sends.clear()
@@ -330,41 +299,6 @@
         if self.leases.set_named_services(services):
             self.follower.request_all_records()
 
-    def _answer_replies(self) -> None:
-        replies = self.agreed.replies
-        self.agreed.replies = []
-        for reply in replies:
-            self._answer_reply(reply)
-
-    def _answer_reply(self, reply: Reply) -> None:
-        if reply.token.startswith("seats"):
-            log_decision("seats-answered", outcome=reply.outcome, problem=reply.problem)
-        elif reply.outcome == ReplicaOutcome.COMMITTED:
-            self._answer(reply.token, Answer(Outcome.DONE))
-        elif reply.outcome == ReplicaOutcome.CURRENT:
-            self._answer_read(reply.token)
-        else:
-            answer = Answer(Outcome.UNAVAILABLE, problem=reply.problem)
-            self._answer(reply.token, answer)
-
-    def _answer_read(self, token: str) -> None:
-        newest = self.agreed.documents.newest
-        if newest.number:
-            self._answer(token, Answer(Outcome.DONE, content=newest.content))
-        else:
-            self._unavailable(token, "no-document")
-
-    def _elsewhere(self, token: str) -> None:
-        leader = self.agreed.leader_vm
-        if leader is None or leader == self.settings.vm:
-            self._unavailable(token, "no-leader")
-            return
-        self._answer(token, Answer(Outcome.ELSEWHERE, leader=leader))
-
-    def _unavailable(self, token: str, code: str) -> None:
-        problem = Problem(code, "ask again soon")
-        self._answer(token, Answer(Outcome.UNAVAILABLE, problem=problem))
-
     def _answer(self, token: str, answer: Answer) -> None:
         self.out.append(Answered(token, answer))
 
@@ -432,55 +366,6 @@
                 asked=",".join(core.settings.peers),
             )
 
-    def _is_seated(self, now: float) -> bool:
-        """Return whether enough control VMs vote for the first order.
-
-        A voter that was never heard of may have no disk, so that another loss would be
-        one too many. It is waited for, but not for good.
-        """
-        configuration = self.agreed.replica.core.log.configuration
-        required = required_voter_count(self.settings.losses)
-        if len(configuration.voters) < required:
-            return False
-        led_s = now - self.leads_since if self.leads_since is not None else 0.0
-        return led_s >= SEATING_S or self.agreed.answering_voters() >= required
-
-    def _look_at_seats(self, now: float) -> None:
-        if not self.agreed.is_leader:
-            self.leads_since = None
-            return
-        if self.leads_since is None:
-            self.leads_since = now
-        wanted = self.agreed.replica.core.log.configuration.wanted_vms
-        following = next_voter_vms(self._seats_view(wanted, now))
-        if following is None:
-            return
-        log_decision("seats-moved", wanted=",".join(following), former=",".join(wanted))
-        self.agreed.give(ChangeMembership(following, f"seats-{now}"), now)
-
-    def _seats_view(self, wanted: tuple[VmId, ...], now: float) -> VoterSelectionView:
-        limit = now - self.follower.settings.silent_s
-        mine = VoterCandidate(self.settings.vm, self.settings.zone)
-        others = [
-            VoterCandidate(vm, source.zone)
-            for vm, source in self.follower.sources.items()
-            if source.heard_at > limit
-        ]
-        assert self.leads_since is not None
-        sources = self.follower.sources
-        gone = frozenset(
-            vm
-            for vm in wanted
-            if vm != self.settings.vm
-            and max(
-                sources[vm].heard_at if vm in sources else self.started_at,
-                self.leads_since,
-            )
-            < now - GONE_S
-        )
-        size = required_voter_count(self.settings.losses)
-        return VoterSelectionView(self.settings.vm, wanted, (mine, *others), gone, size)
-
     def _is_due(self, name: str, period_s: float, now: float) -> bool:
         if now < self.due.get(name, 0.0):
             return False
--- a/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/daemon.py
@@ -58,7 +58,7 @@
 """Seconds a stopping registrar goes on, so that another one leads and is told."""
 
 
-METHODS = frozenset(["GET", "PUT", "DELETE"])
+METHODS = frozenset(["GET", "PUT", "POST", "DELETE"])
 """Methods that are counted under their names."""
 
 QUOTED_CHARACTERS = 200
@@ -291,6 +291,7 @@
         status = desk.core.agreed.replica.status()
         gauges = {
             "document": float(desk.core.agreed.documents.newest.number),
+            "evacuated_zones": float(len(desk.core.agreed.documents.evacuations.zones)),
             "servers": float(len(desk.core.leases.table.held)),
             "followers": float(len(desk.core.publisher.followers)),
             "leads": float(desk.core.agreed.is_leader),
--- a/libs/daemons/tests/test_plain_http.py
+++ b/libs/daemons/tests/test_plain_http.py
@@ -60,6 +60,16 @@
     assert bodies == [b"hello"]
 
 
+# Guards against an order without a body that waits for one until its caller gives up.
+@pytest.mark.parametrize("method", [b"POST", b"DELETE"])
+@pytest.mark.parametrize("length", [b"", b"Content-Length: 0\r\n"])
+async def test_a_call_without_a_body_is_answered_at_once(method, length):
+    call = method + b" /v1/x HTTP/1.1\r\nHost: x\r\n" + length + b"\r\n"
+    received = await answer_to(call * 2)
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert received.count(method + b" /v1/x") == 2
+
+
 async def test_a_body_that_is_too_long_is_refused():
     head = b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
     data = head % (BODY_BYTES + 1) + bytes(BODY_BYTES + 1)
--- a/libs/daemons/tests/test_registrar_calls.py
+++ b/libs/daemons/tests/test_registrar_calls.py
@@ -89,3 +89,18 @@
     assert list(desk.counts) == ["calls.other.refused"]
     assert list(desk.latencies.histograms) == ["call.other"]
     assert max(len(str(fields)) for _, fields in lines) < 1_000
+
+
+# Guards against orders that the metrics hide among unknown methods.
+async def test_calls_are_counted_by_their_methods():
+    desk = FakeDesk()
+    handle = calls_handler(desk, FakeParts(FakeFormat()))
+    for method in ("GET", "PUT", "POST", "DELETE", "PATCH"):
+        await handle(HttpCall(method, "/x", b""))
+    assert sorted(desk.counts) == [
+        "calls.delete.done",
+        "calls.get.done",
+        "calls.other.done",
+        "calls.post.done",
+        "calls.put.done",
+    ]
--- a/libs/lab/tests/test_registrar_faults.py
+++ b/libs/lab/tests/test_registrar_faults.py
@@ -4,7 +4,6 @@
 
 from random import Random
 
-import msgspec
 import pytest
 
 from kumquatmux_agreement.entries import ReplicaId, founding_folder, founding_state
@@ -17,12 +16,12 @@
     ReadDocument,
     ReportCall,
 )
-from kumquatmux_daemons.registrar.core import RegistrarCore
+from kumquatmux_daemons.registrar.orders import Orders
 from kumquatmux_lab.faultruns import registrar, registrar_world
 from kumquatmux_lab.faultruns.registrar_world import Control, Entry, World
 from kumquatmux_registry.leases import Leases
 from kumquatmux_registry.records import Lifetime, Phase, Report
-from kumquatmux_settings.documents import DocumentLog, NumberedDocument
+from kumquatmux_settings.documents import DocumentLog
 
 SEEDS = (VmId("c-a"), VmId("c-b"), VmId("c-c"))
 
@@ -397,8 +396,8 @@
     assert late_after_a_long_cut(world) == ["e-a", "e-b", "e-c"]
 
 
-def any_order(self, data):
-    self.newest = msgspec.msgpack.decode(data, type=NumberedDocument)
+def any_order(self, document):
+    self.newest = document
     return True
 
 
@@ -409,8 +408,8 @@
 @pytest.mark.parametrize(
     ("owner", "name", "broken", "seed", "found"),
     [
-        (DocumentLog, "apply", any_order, 1, "two contents"),
-        (RegistrarCore, "_elsewhere", stale_read, 1, "a read gave"),
+        (DocumentLog, "_apply_document", any_order, 1, "two contents"),
+        (Orders, "_elsewhere", stale_read, 1, "a read gave"),
     ],
     ids=["last one wins", "reads without a quorum"],
 )
--- a/tests/adapter/test_founding.py
+++ b/tests/adapter/test_founding.py
@@ -20,7 +20,6 @@
 from kumquatmux_daemons.registrar.agreed import Agreed
 from kumquatmux_daemons.registrar.calls import Outcome, PutDocument
 from kumquatmux_daemons.registrar.core import (
-    SEATING_S,
     UNFOUNDED_S,
     Answered,
     CoreParts,
@@ -29,6 +28,7 @@
 from kumquatmux_daemons.registrar.daemon import TICK_S, replica_settings
 from kumquatmux_daemons.registrar.first_start import FILE_NAME
 from kumquatmux_daemons.registrar.folder import open_store
+from kumquatmux_daemons.registrar.seats import SEATING_S
 from kumquatmux_platform.first_start import note_first_start
 from kumquatmux_platform.node_file import read_node_file, registrar_settings
 from kumquatmux_registry.saved import SavedServers
