Send no new flows to the servers of evacuated zones

ServerDirectory leaves the servers of evacuated zones out of those that take new flows, so that placement, answers to other VMs, remembered placements and other VMs' answers all follow. Open flows go on. A copy of a SYN that came too soon to be a retransmission is dropped instead of sent to an evacuated zone; a retransmission is placed elsewhere as before. Where all servers of a service are in evacuated zones, openings are refused at once as zone-evacuated, copies dropped as copy-refused. In its first 2 s a VM refuses nobody for this, as the first page of servers may hold one zone only. An evacuation is taken with the feed answer that brings it, before its records, and decides about the openings that wait. The line evacuation-in-force and the gauge evacuated_zones show it.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -196,6 +196,7 @@
         counts = core.counts + ports.peers.counts + ports.packets.counts
         gauges = {
             "document": float(core.router.route_table.document_number),
+            "evacuated_zones": float(len(core.follower.evacuations.zones)),
             "servers": float(len(core.router.directory.by_token)),
             "flows": float(len(core.router.load_tracker.flows)),
             "held": float(core.router.token_buffer.count),
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/peer_messages.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/peer_messages.py
@@ -72,7 +72,10 @@
     def _(self, message: FeedAnswer, now: float) -> list[Effect]:
         routes = self._read_document(message, now)
         taken = message if routes is not None else message._replace(content=b"")
+        former_evacuations = self.follower.evacuations
         self.follower.take(taken, now)
+        evacuations = self.follower.evacuations
+        self.router.set_evacuated_zones(frozenset(evacuations.zones))
         self.router.coordinators.set_entry_vms(self.follower.peers)
         self.parts.contact.note_answer(message.sender, now)
         if routes is not None:
@@ -80,7 +83,8 @@
             if self.parts.table.name_services(routes.services):
                 self.follower.request_all_records()
         effects = self._merge(message.records, now)
-        if message.records or routes is not None:
+        are_zones_changed = evacuations is not former_evacuations
+        if message.records or routes is not None or are_zones_changed:
             effects += self.waiting.try_again(now)
         effects += self._ask_for_news(now)
         poll = self.follower.poll_after(message, now)
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -6,6 +6,7 @@
 import pytest
 from expression import Error, Ok
 
+from kumquatmux_core import decisions
 from kumquatmux_core.identity import Address, Endpoint
 from kumquatmux_core.problems import Problem
 from kumquatmux_daemons.token_entry.core import EntryCore
@@ -475,3 +476,107 @@
     assert core.router.load_tracker.flows[flow].tried_tokens == (
         int(placed.split()[2]),
     )
+
+
+def pass_time(core, start, end):
+    """Let a core tick without a pause, after which it would take packets for old."""
+    for step in range(round((end - start) / 0.05)):
+        core.tick(start + step * 0.05)
+    core.router.backlog.note_queue_empty()
+
+
+def server_in(zone, number):
+    record = server(number)
+    return record._replace(report=record.report._replace(zone=zone))
+
+
+def evacuated(revision, *zones, records=(), **fields):
+    told = answer(*records, **fields)
+    return told._replace(evacuation_revision=revision, evacuated_zones=zones)
+
+
+# Guards against a VM that starts and sends flows to a zone that was evacuated before.
+def test_a_vm_that_starts_knows_the_evacuated_zones_before_it_is_ready(core):
+    servers = (server_in("a", 1), server_in("b", 2))
+    assert core.packet(b"open 7", 0.1) == []
+    lagging = evacuated(0, document=3, content=b"3", is_current=False)
+    core.message("c1", lagging, 0.2)
+    assert not core.is_ready(0.3)
+    current = evacuated(4, "a", records=servers, document=3)
+    sent = core.message("c1", current, 0.4)
+    assert core.is_ready(0.5)
+    assert datagrams(sent) == [b"open 7 %d" % servers[1].token]
+
+
+# Guards against evacuations that are undone by a control VM that lags or has lost all,
+# and by the loss of all of them.
+def test_evacuations_stay_in_force_without_control_vms_and_by_older_news(core):
+    servers = (server_in("a", 1), server_in("b", 2))
+    told = evacuated(4, "a", records=servers, document=3, content=b"3")
+    core.message("c1", told, 0.1)
+    for older in (evacuated(3, "b"), evacuated(0)):
+        core.message("c1", older, 0.2)
+        assert core.router.directory.evacuated_zones == {"a"}
+    pass_time(core, 0.2, 60.0)
+    assert datagrams(core.packet(b"open 7", 60.0)) == [b"open 7 %d" % servers[1].token]
+    core.message("c1", evacuated(5), 60.1)
+    assert core.router.directory.evacuated_zones == frozenset()
+
+
+# Guards against openings that wait on although an order has decided about them.
+@pytest.mark.parametrize("zones", ["a", "ab"])
+def test_openings_that_wait_are_decided_when_an_evacuation_arrives(core, zones):
+    servers = (server_in("a", 1), server_in("b", 2))
+    told = evacuated(1, "a", "b", records=servers, document=3, content=b"3")
+    core.message("c1", told, 0.1)
+    assert datagrams(core.packet(b"open 7", 1.0)) == []
+    sent = core.message("c1", evacuated(2, *zones), 1.1)
+    expected = [b"open 7 %d" % servers[1].token] if zones == "a" else []
+    assert datagrams(sent) == expected
+
+
+def test_openings_are_reset_with_the_reason_that_all_zones_are_evacuated(core):
+    told = evacuated(1, "a", records=(server(1),), document=3, content=b"3")
+    core.message("c1", told, 0.1)
+    pass_time(core, 0.1, 3.0)
+    assert datagrams(core.packet(b"open 7", 3.0)) == [b"reset 0"]
+    assert core.counts["resets.zone-evacuated"] == 1
+    flow = b"data 8 %d" % server(1).token
+    assert datagrams(core.packet(flow, 3.1)) == [flow]
+
+
+# Guards against lines without end, and a change that leaves none.
+def test_each_change_of_evacuations_is_logged_once(core):
+    taken = []
+    decisions.configure(as_json=True, sink=lambda *line: taken.append(line))
+    for revision, zones in ((1, "a"), (1, "a"), (2, "ab"), (3, "")):
+        core.message("c1", evacuated(revision, *zones), 0.1)
+    decisions.configure(as_json=False)
+    lines = [fields for event, fields in taken if event == "evacuation-in-force"]
+    told = [(one["revision"], one["former"], one["zones"]) for one in lines]
+    assert told == [(1, 0, "a"), (2, 1, "a,b"), (3, 2, "")]
+
+
+# Guards against servers of the remaining zones that are flooded beyond their queues.
+def test_the_load_of_an_evacuated_zone_overflows_no_server(core):
+    records = [server_in("abc"[number % 3], number) for number in range(1, 16)]
+    told = evacuated(0, records=records, document=3, content=b"3")
+    core.message("c1", told, 0.1)
+    servers = Servers(core)
+    pass_time(core, 0.1, 3.0)
+    now, number = 3.0, 0
+    while now < 6.0:
+        now += 0.05
+        if 4.0 <= now < 4.05:
+            core.message("c1", evacuated(1, "a"), now)
+            servers.deepest.clear()
+        arrived = [number + one for one in range(20)] if now < 5.0 else []
+        number += len(arrived)
+        sent = [one for c in arrived for one in core.packet(b"open %d" % c, now)]
+        for data in datagrams([*sent, *core.tick(now)]):
+            servers.take(data, now)
+        servers.work_on(now, 0.05)
+    zones = {one.token: one.report.zone for one in records}
+    assert {zones[token] for token in servers.deepest} == {"b", "c"}
+    assert max(servers.deepest.values()) <= SLOTS + QUEUE
+    assert len(servers.done) == number
--- a/libs/tokens/src/kumquatmux_tokens/directory.py
+++ b/libs/tokens/src/kumquatmux_tokens/directory.py
@@ -39,10 +39,12 @@
     Attributes:
         local: Servers in the zone of this VM.
         remote: Servers in other zones.
+        is_evacuated: Whether the service has servers, but all in evacuated zones.
     """
 
     local: Sequence[ServerEntry]
     remote: Sequence[ServerEntry]
+    is_evacuated: bool = False
 
 
 NO_READY_SERVERS = ReadyServers((), ())
@@ -58,7 +60,8 @@
         by_service: Lifetimes that have not ended, by service and token.
         colliding_tokens: Tokens that two lifetimes share; neither gets new flows.
         ready_by_service: Cached result of ``ready_servers``, by service; dropped when
-            a lifetime of the service changes.
+            a lifetime of the service, or the evacuated zones, change.
+        evacuated_zones: Zones whose servers get no new flows.
     """
 
     def __init__(self, zone: ZoneName) -> None:
@@ -69,6 +72,7 @@
         self.by_service: dict[ServiceName, dict[int, ServerEntry]] = {}
         self.colliding_tokens: set[int] = set()
         self.ready_by_service: dict[ServiceName, ReadyServers] = {}
+        self.evacuated_zones: frozenset[ZoneName] = frozenset()
 
     def store_record(self, record: ServerRecord, now: float) -> None:
         """Store a server's latest record and end the lifetime that it replaces."""
@@ -104,25 +108,28 @@
             return NO_READY_SERVERS
         ready = self.ready_by_service.get(service)
         if ready is None:
-            entries = [
-                entry
-                for token, entry in self.by_service[service].items()
-                if entry.record.report.phase == Phase.READY
-                and token not in self.colliding_tokens
-            ]
-            ready = self.ready_by_service[service] = ReadyServers(
-                tuple(one for one in entries if one.record.report.zone == self.zone),
-                tuple(one for one in entries if one.record.report.zone != self.zone),
-            )
+            ready = self.ready_by_service[service] = self._find_ready(service)
         return ready
 
+    def set_evacuated_zones(self, zones: frozenset[ZoneName]) -> None:
+        """Set the zones whose servers get no new flows."""
+        if zones != self.evacuated_zones:
+            self.evacuated_zones = zones
+            self.ready_by_service.clear()
+
+    def is_evacuated(self, entry: ServerEntry) -> bool:
+        """Return whether a server is in an evacuated zone."""
+        return entry.record.report.zone in self.evacuated_zones
+
     def accepting_entry(self, token: int) -> ServerEntry | None:
         """Return the lifetime with a token if it accepts new flows, else None."""
         entry = self.by_token.get(token)
         if entry is None or token in self.colliding_tokens:
             return None
         accepts_flows = (
-            entry.record.report.phase == Phase.READY and entry.ended_at is None
+            entry.record.report.phase == Phase.READY
+            and entry.ended_at is None
+            and not self.is_evacuated(entry)
         )
         return entry if accepts_flows else None
 
@@ -165,6 +172,28 @@
                 if self.by_endpoint.get(endpoint) == token:
                     del self.by_endpoint[endpoint]
 
+    def _find_ready(self, service: ServiceName) -> ReadyServers:
+        """Return the servers of a service that accept new flows, with no cache."""
+        all_entries = self.by_service[service]
+        open_entries = all_entries
+        if self.evacuated_zones:
+            open_entries = {
+                token: entry
+                for token, entry in all_entries.items()
+                if not self.is_evacuated(entry)
+            }
+        entries = [
+            entry
+            for token, entry in open_entries.items()
+            if entry.record.report.phase == Phase.READY
+            and token not in self.colliding_tokens
+        ]
+        return ReadyServers(
+            tuple(one for one in entries if one.record.report.zone == self.zone),
+            tuple(one for one in entries if one.record.report.zone != self.zone),
+            not open_entries,
+        )
+
     def _claim_endpoint(self, record: ServerRecord) -> None:
         """Note the latest start at an endpoint; reports of others there were late."""
         endpoint = record.report.endpoint
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from random import Random
 
-from kumquatmux_core.identity import VmId
+from kumquatmux_core.identity import VmId, ZoneName
 from kumquatmux_registry.records import ServerRecord
 from kumquatmux_tokens.backlog import Backlog
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
@@ -128,6 +128,10 @@
         """Install the routes of a newer document; return whether it was newer."""
         return self.route_table.install(routes, now)
 
+    def set_evacuated_zones(self, zones: frozenset[ZoneName]) -> None:
+        """Set the zones whose servers get no new flows."""
+        self.directory.set_evacuated_zones(zones)
+
     def store_record(self, record: ServerRecord, now: float) -> list[BufferedPacket]:
         """Store a server's record; return the packets buffered for its token."""
         self.directory.store_record(record, now)
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -95,6 +95,9 @@
         server_wait_s: Seconds for which SYN packets of a service without servers may
             wait for one, counted from when it last had one or from the start of this
             VM.
+        server_learning_s: Seconds from the start of this VM in which it may not know
+            all servers, so that no SYN packet is refused because those that it knows
+            are in evacuated zones.
         caller_syn_timeout_s: Seconds that a caller waits for the answer to its SYN
             packet.
         placement_memory_s: Seconds for which the server of a new flow is remembered. A
@@ -157,6 +160,7 @@
     token_lookup_timeout_s: float = 1.5
     token_buffer_limit: int = 2048
     server_wait_s: float = 5.0
+    server_learning_s: float = 2.0
     caller_syn_timeout_s: float = 1.4
     placement_memory_s: float = 10.0
     syn_transmission_offsets_s: tuple[float, ...] = (0.0, 0.2, 0.6)
--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -81,7 +81,9 @@
         elif flow is not None:
             entry = self.directory.running_entry(flow.token)
             if entry is not None and entry.ended_at is None:
-                return Forward(entry.record, entry.token)
+                return self._decide_copy(entry)
+        if self._is_evacuated(service, now):
+            return self._refuse(header, "zone-evacuated", now)
         tried_tokens = flow.tried_tokens if flow is not None else ()
         if header.flow_key in self.coordinators.pending_requests:
             if self.coordinators.is_pending(header.flow_key, now):
@@ -150,6 +152,26 @@
         self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
+    def _decide_copy(self, entry: ServerEntry) -> Decision:
+        """Return the decision for a copy that came too soon to be a retransmission.
+
+        It goes to no second server, where it would open the flow again. If the first
+        one gets no new flows any more, a retransmission is placed elsewhere.
+        """
+        if self.directory.is_evacuated(entry):
+            return Drop("copy-refused")
+        return Forward(entry.record, entry.token)
+
+    def _is_evacuated(self, service: ServiceName, now: float) -> bool:
+        """Return whether all servers of a service are in evacuated zones.
+
+        A VM that started a moment ago may not have been told of all servers yet.
+        """
+        if not self.directory.evacuated_zones:
+            return False
+        is_new = now - self.started_at < self.settings.server_learning_s
+        return not is_new and self.directory.ready_servers(service).is_evacuated
+
     def _place_locally(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
