Play racing evacuation orders in the registrar fault runs and check their history

registrar.run(seed, evacuates=True) adds operators whose orders about three zones cross and are resent, reads with a quorum, and looks at all VMs: each zone behaves as a register, a revision stands for one list of zones on every control and entry VM, reads and entry VMs never go back, and in the end every entry VM holds what a read returned.

--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar.py
@@ -17,6 +17,8 @@
     ReadDocument,
     ReportCall,
 )
+from kumquatmux_lab.faultruns import evacuation_orders
+from kumquatmux_lab.faultruns.evacuation_orders import EvacuationOrders
 from kumquatmux_lab.faultruns.registrar_world import (
     REPORT_S,
     START_S,
@@ -44,9 +46,15 @@
 RETRY_S = 1.0
 
 
-def run(seed: int) -> RunReport:
-    """Run one seed and check every promise."""
-    return FaultRun(seed).run()
+def run(seed: int, *, evacuates: bool = False) -> RunReport:
+    """Run one seed and check every promise.
+
+    Args:
+        seed: Seed of the run.
+        evacuates: Whether operators order evacuations of zones too. The messages of
+            these draw on the same random numbers, so that the faults are others.
+    """
+    return FaultRun(seed, evacuates=evacuates).run()
 
 
 class Server:
@@ -90,8 +98,9 @@
     At most one disk is lost, and only while every voter holds all that is agreed.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, evacuates: bool = False) -> None:
         self.seed = seed
+        self.evacuates = evacuates
         self.random = Random(seed)
         seeds = tuple(VmId(f"c-{zone}") for zone in ZONES)
         self.world = World(self.random, seeds)
@@ -103,6 +112,9 @@
         self.sent: dict[int, set[bytes]] = {}
         self.seen: dict[tuple[VmId, int], int] = {}
         self.replacements = 0
+        self.evacuations = EvacuationOrders(
+            self.world, Random(f"evacuations-{seed}"), ZONES, self._broken
+        )
         self.servers = [
             Server(f"i-{number}", ZONES[number % 3], number) for number in range(1, 7)
         ]
@@ -133,6 +145,10 @@
         self._every(CHANGE_GAP_S, self._change)
         self._every(READ_GAP_S, self._read_somewhere)
         self._every(LOOK_S, self._look)
+        if self.evacuates:
+            self._every(evacuation_orders.ORDER_GAP_S, self.evacuations.order)
+            self._every(evacuation_orders.READ_GAP_S, self.evacuations.read)
+            self._every(evacuation_orders.LOOK_S, self.evacuations.look)
         world.run_until(QUIET_S)
         while world.now < QUIET_S + FAULTS_S:
             kind = self.random.choice(sorted(self.faults))
@@ -279,7 +295,10 @@
             self._broken(f"newest of {last} acknowledged in the end is {self.acked}")
         world.run_until(world.now + IN_FORCE_S)
         acked = self.acked
+        evacuations = self.evacuations.read_revision
         world.run_until(world.now + IN_FORCE_S)
+        if self.evacuates:
+            self.evacuations.check_settled(evacuations)
         for entry in world.entries():
             held = entry.core.follower.document.number if entry.core else 0
             if held < acked:
