Test that an evacuation survives the loss of two of six disks

World takes the number of losses, 1 as before where it isn't given. The test wipes the disks of the leader and of another of the five voters right after the acknowledgment, with and without a loss of power everywhere.

--- a/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
+++ b/libs/lab/src/kumquatmux_lab/faultruns/registrar_world.py
@@ -142,7 +142,7 @@
             seeds=world.seeds,
             founds=founds,
             folder=Path(),
-            losses=1,
+            losses=world.losses,
             report_period_s=REPORT_S,
         )
         parts = CoreParts(Agreed(replica, store, world.random), SavedServers(self.disk))
@@ -191,11 +191,15 @@
         nodes: All VMs by name.
         cuts: Pairs of sender and receiver between which nothing passes.
         frozen: VMs that stand still, until when.
+        losses: Disks that the control VMs may lose at once.
     """
 
-    def __init__(self, random: Random, seeds: tuple[VmId, ...]) -> None:
+    def __init__(
+        self, random: Random, seeds: tuple[VmId, ...], *, losses: int = 1
+    ) -> None:
         self.random = random
         self.seeds = seeds
+        self.losses = losses
         self.now = 0.0
         self.nodes: dict[VmId, Control | Entry] = {}
         self.cuts: set[tuple[VmId, VmId]] = set()
--- a/libs/lab/tests/test_evacuation_faults.py
+++ b/libs/lab/tests/test_evacuation_faults.py
@@ -196,6 +196,35 @@
     assert all(one.core.is_ready(world.clock(one.vm)) for one in world.entries())
 
 
+# Guards against an acknowledged order that is gone with the two disks that a deployment
+# of six control VMs may lose at once, here those of the leader and of another voter.
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("loses_power", [True, False])
+def test_an_acknowledged_order_survives_the_loss_of_two_disks(seed, loses_power):
+    seeds = tuple(VmId(f"c-{zone}-{number}") for zone in "abc" for number in (1, 2))
+    world = World(Random(seed), seeds, losses=2)
+    for vm in seeds:
+        world.add(Control(vm, ZoneName(vm[2])), founds=True)
+    world.add(Entry(VmId("e-a"), ZoneName("a")))
+    world.run_until(8.0)
+    leader = leader_of(world)
+    core = world.nodes[leader].core.agreed.replica.core
+    voters = [voter.vm for voter in core.log.configuration.voters]
+    answers = []
+    world.call(leader, EVACUATE_B, answers.append)
+    while not answers:
+        world.run_until(world.now + 0.0005)
+    assert answers[0].outcome == Outcome.DONE
+    other = world.random.choice([vm for vm in voters if vm != leader])
+    for vm in (leader, other):
+        world.stop(vm, wipe=True)
+    if loses_power:
+        lose_power_of_all(world)
+    world.run_until(world.now + 8.0)
+    assert len(voters) == 5
+    assert read(world) == (1, ("b",))
+
+
 # Guards against new control VMs, and those that lost their disks, without the zones.
 @pytest.mark.parametrize("has_snapshot", [True, False])
 def test_a_control_vm_that_joins_holds_the_evacuated_zones(world, has_snapshot):
