Have one VM of a zone grant all openings at cold servers

Cause: entry VMs placed flows on a cold server by a cost factor only, each by itself where a coordinator was silent, so nothing bounded the openings that a server gets within a second of its warm-up.

Change: the first VM in the unfiltered ranking of a service, confirmed by control VMs of its zone, holds the warm-up budget: floor(requests_per_s * overage + slack) grants in any 1.03 s, as a grant is used up to 0.03 s later. Other VMs never place on a cold server, and use an answer that names one only in time and from the VM that they rank first. Copies of a SYN count as further openings. The pace limits the requests in progress at servers that started or recovered: from 1, up by 1 with each answer in time, halved by a fault, lifted after 10 s. PaceReport (0x060F) tells the coordinator; load reports keep their bytes. Services without a warm-up, and sites without limits, are placed as before.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -63,7 +63,9 @@
         self.settings = settings
         self.format = form
         self.table = ServerTable()
-        tokens = TokenRouterSettings(settings.vm, settings.zone)
+        tokens = TokenRouterSettings(
+            settings.vm, settings.zone, warm_up_limits=settings.warm_up_limits
+        )
         self.router = TokenRouter(tokens, random, now)
         self.follower = Follower(
             FollowerSettings(settings.vm, settings.zone, False, settings.seeds)
@@ -192,4 +194,6 @@
         return [Sent(vm, opened) for vm, opened in news]
 
     def _report_load(self, now: float) -> list[Effect]:
-        return [Sent(vm, report) for vm, report in self.router.due_load_reports(now)]
+        reports = self.router.due_load_reports(now)
+        pace_reports = self.router.due_pace_reports(now)
+        return [Sent(vm, one) for vm, one in (*reports, *pace_reports)]
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -189,6 +189,16 @@
     return handle
 
 
+def pace_gauges(core: EntryCore, now: float) -> dict[str, float]:
+    """Return gauges of the servers that started or recovered."""
+    recovering = core.router.recovering
+    return {
+        "cold_servers": float(recovering.cold_count(now)),
+        "paced_servers": float(len(recovering.pace.paced)),
+        "deferred_openings": float(recovering.deferred_count(now)),
+    }
+
+
 def metrics_handler(core: EntryCore, ports: Ports, lines: LineWriter) -> Any:
     """Return what answers with the metrics."""
 
@@ -199,6 +209,7 @@
             "servers": float(len(core.router.directory.by_token)),
             "flows": float(len(core.router.load_tracker.flows)),
             "held": float(core.router.token_buffer.count),
+            **pace_gauges(core, trio.current_time()),
             "lines_dropped": float(sum(lines.dropped.values())),
         }
         text = metrics_text.render(counts, gauges, core.router.load_tracker.latencies)
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/peer_messages.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/peer_messages.py
@@ -23,6 +23,7 @@
     FlowQuestion,
 )
 from kumquatmux_tokens.routes import RouteSet
+from kumquatmux_tokens.server_pace import PaceReport
 from kumquatmux_tokens.work import LoadShare
 
 NEWS_GAP_S = 1.5
@@ -79,6 +80,8 @@
             self.router.install_routes(routes, now)
             if self.parts.table.name_services(routes.services):
                 self.follower.request_all_records()
+        is_of_zone = message.zone == self.parts.settings.zone
+        self.router.note_feed(is_of_zone and message.is_current, now)
         effects = self._merge(message.records, now)
         if message.records or routes is not None:
             effects += self.waiting.try_again(now)
@@ -93,6 +96,11 @@
         self.router.load_tracker.peer_load.apply_report(message, now)
         return []
 
+    @_handle.register
+    def _(self, message: PaceReport, now: float) -> list[Effect]:
+        self.router.recovering.apply_report(message, now)
+        return []
+
     @_handle.register
     def _(self, message: PlaceQuestion, now: float) -> list[Effect]:
         return [
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/settings.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/settings.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import Endpoint, VmId, ZoneName
+from kumquatmux_tokens.settings import WarmUpLimits as WarmUpLimits
 
 
 class VmLimits(NamedTuple):
@@ -21,18 +22,6 @@
     memory_bytes: int = 0
 
 
-class WarmUpLimits(NamedTuple):
-    """Limit of the openings that a cold server gets in any second.
-
-    Attributes:
-        overage: Factor of the requests a second that the server bears.
-        slack: Openings beyond that.
-    """
-
-    overage: float
-    slack: float
-
-
 class EntrySettings(NamedTuple):
     """Who an entry VM is and whom it follows.
 
--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -34,6 +34,7 @@
 from kumquatmux_registry.records import ServerRecord, problem_of
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.questions import FlowAnswer, FlowOpened, FlowQuestion
+from kumquatmux_tokens.server_pace import PacedAnswers, PaceReport
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
 MAX_TEXT_CHARACTERS = 512
@@ -133,6 +134,14 @@
     return Ok(message._replace(server_loads=loads))
 
 
+@_take_in.register
+def _(message: PaceReport) -> Result[Any, Problem]:
+    if len(message.servers) > MAX_SERVER_LOADS:
+        return _refused("too many servers")
+    servers = tuple(one for one in message.servers if _is_paced_answers(one))
+    return Ok(message._replace(servers=servers))
+
+
 @_take_in.register
 def _(message: PlaceQuestion) -> Result[Any, Problem]:
     is_sound = (
@@ -245,6 +254,11 @@
     return is_bounded and _are_tokens((load.token,))
 
 
+def _is_paced_answers(seen: PacedAnswers) -> bool:
+    is_bounded = all(0 <= count <= MAX_COUNT for count in (seen.answers, seen.faults))
+    return is_bounded and _are_tokens((seen.token,))
+
+
 def _are_numbers(numbers: Iterable[int]) -> bool:
     return all(0 <= number < NUMBER_LIMIT for number in numbers)
 
--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -478,6 +478,7 @@
         0x060A: [PEER, bytes(12), 5, [5, 6]],
         0x060B: [PEER, bytes(12), 101, 5],
         0x060C: [PEER],
+        0x060F: [PEER, [[5, 1, 1]]],
     }[kind]
     for core in (make_entry(), make_control()):
         deliver(peers, core, [encoded(kind, fields)])
--- a/libs/tokens/src/kumquatmux_tokens/choice.py
+++ b/libs/tokens/src/kumquatmux_tokens/choice.py
@@ -80,7 +80,11 @@
 
 
 def select_server(
-    pool: ServerPool, flow: NewFlow, load_tracker: LoadTracker, random: Random
+    pool: ServerPool,
+    flow: NewFlow,
+    load_tracker: LoadTracker,
+    random: Random,
+    withheld: frozenset[int] = frozenset(),
 ) -> Selection | None:
     """Select the server for a new flow.
 
@@ -107,14 +111,16 @@
         flow: The flow.
         load_tracker: Load on each server.
         random: Random number generator that samples servers and breaks ties.
+        withheld: Tokens of servers that are not eligible.
 
     Returns:
         The selection, or None if no server is eligible.
     """
-    ready = pool.ready
+    ready = _without(pool.ready, withheld) if withheld else pool.ready
     if len(ready.local) + len(ready.remote) > 2 * SAMPLE_SIZE:
         sampled = ReadyServers(
-            _sample_local(pool, random), _sample(ready.remote, random)
+            _sample_local(pool, ready, random, withheld),
+            _sample(ready.remote, random),
         )
         selection = _select_among(sampled, flow, load_tracker, random)
         if selection and not selection.is_full and not selection.priority_level:
@@ -140,11 +146,23 @@
     )
 
 
-def _sample_local(pool: ServerPool, random: Random) -> Sequence[ServerEntry]:
+def _without(servers: ReadyServers, withheld: frozenset[int]) -> ReadyServers:
+    return ReadyServers(
+        [entry for entry in servers.local if entry.token not in withheld],
+        [entry for entry in servers.remote if entry.token not in withheld],
+    )
+
+
+def _sample_local(
+    pool: ServerPool,
+    ready: ReadyServers,
+    random: Random,
+    withheld: frozenset[int],
+) -> Sequence[ServerEntry]:
     """Return the servers that have been idle longest, or random ones if none is."""
-    if pool.idle:
-        return list(islice(pool.idle.values(), SAMPLE_SIZE))
-    return _sample(pool.ready.local, random)
+    idle = (one for one in pool.idle.values() if one.token not in withheld)
+    longest_idle = list(islice(idle, SAMPLE_SIZE))
+    return longest_idle or _sample(ready.local, random)
 
 
 def _sample(entries: Sequence[ServerEntry], random: Random) -> Sequence[ServerEntry]:
--- a/libs/tokens/src/kumquatmux_tokens/messages.py
+++ b/libs/tokens/src/kumquatmux_tokens/messages.py
@@ -9,6 +9,7 @@
     FlowOpened,
     FlowQuestion,
 )
+from kumquatmux_tokens.server_pace import PaceReport
 from kumquatmux_tokens.work import LoadShare
 
 MESSAGE_TYPES: dict[int, type] = {
@@ -19,5 +20,6 @@
     0x060A: FlowAnswer,
     0x060B: FlowOpened,
     0x060C: FlowNewsQuestion,
+    0x060F: PaceReport,
 }
 """Message types by message kind, for the codec registry of a channel."""
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -47,6 +47,8 @@
         is_full: Whether the request queue of the selected server is full, so that the
             flow has to wait.
         reservation_number: Number of the reservation for the flow, 0 for none.
+        is_paced: Whether the sender limits the requests in progress at the server, and
+            so wants to know how it answers.
     """
 
     sender: VmId
@@ -54,6 +56,7 @@
     token: int
     is_full: bool
     reservation_number: int
+    is_paced: bool = False
 
 
 class Backoff:
@@ -90,6 +93,9 @@
         rankings: Entry VMs in order of preference, by service.
         backoffs: Backoff from each VM that left placement requests unanswered.
         pending_requests: Unanswered placement requests by flow key.
+        timed_out: Times at which placement requests timed out, or answers came that
+            were late or duplicates, by flow key. A further answer for one of these
+            flows may be that to an earlier request.
     """
 
     def __init__(self, settings: TokenRouterSettings) -> None:
@@ -99,6 +105,7 @@
         self.rankings: dict[ServiceName, list[VmId]] = {}
         self.backoffs: dict[VmId, Backoff] = {}
         self.pending_requests: dict[bytes, PendingRequest] = {}
+        self.timed_out: dict[bytes, float] = {}
 
     def set_entry_vms(self, entry_vms: tuple[VmId, ...]) -> None:
         """Set the entry VMs of the zone."""
@@ -119,6 +126,10 @@
                 return vm
         return own_vm
 
+    def first_for(self, service: ServiceName) -> VmId | None:
+        """Return the first VM in the ranking of a service, silent or not."""
+        return next(iter(self._ranking(service)), None)
+
     def record_request(self, vm: VmId, flow_key: bytes, now: float) -> None:
         """Record that a placement request was sent."""
         self.pending_requests[flow_key] = PendingRequest(vm, now)
@@ -135,6 +146,7 @@
         if now - request.sent_at < self.settings.placement_timeout_s:
             return True
         del self.pending_requests[flow_key]
+        self.timed_out[flow_key] = now
         self._start_backoff(request, now)
         return False
 
@@ -145,10 +157,23 @@
         if request is not None and request.vm == vm:
             del self.pending_requests[flow_key]
 
+    def note_delay(self, flow_key: bytes, now: float) -> None:
+        """Note an answer that has arrived, which may be late or a duplicate."""
+        request = self.pending_requests.get(flow_key)
+        if (
+            request is None
+            or now - request.sent_at >= self.settings.placement_timeout_s
+        ):
+            self.timed_out[flow_key] = now
+
     def remove_expired(self, now: float) -> None:
         """Remove placement requests that have timed out."""
         for flow_key in list(self.pending_requests):
             self.is_pending(flow_key, now)
+        limit = now - self.settings.placement_memory_s
+        for flow_key, time in list(self.timed_out.items()):
+            if time < limit:
+                del self.timed_out[flow_key]
 
     def _start_backoff(self, request: PendingRequest, now: float) -> None:
         backoff = self.backoffs.setdefault(request.vm, Backoff())
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -32,7 +32,9 @@
 from kumquatmux_tokens.pools import ServerPools
 from kumquatmux_tokens.probes import LOST_RESULTS, ProbeResult, ServerProbes
 from kumquatmux_tokens.recent import RecentPlacements
+from kumquatmux_tokens.recovering import RecoveringServers
 from kumquatmux_tokens.routes import RouteSet, RouteTable
+from kumquatmux_tokens.server_pace import PaceReport
 from kumquatmux_tokens.server_selector import ServerSelector
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.syn_router import SynRouter
@@ -56,6 +58,7 @@
         lost_flows: Decides whether flows whose servers seem to be gone are reset.
         opened_flows: What other VMs are told of flows with several servers.
         load_reporter: Reports this VM's load to the other VMs of the zone.
+        recovering: Tells which servers that started or recovered get a flow now.
         selector: Selects the servers of new flows.
         syn_router: Decides what to do with each SYN packet.
         lost_holders: Control VMs of the zones that nothing has been heard of for long
@@ -97,7 +100,16 @@
         self.load_reporter = LoadReporter(
             settings, self.directory, self.load_tracker, self.coordinators
         )
-        self.selector = ServerSelector(settings, random, self.pools, self.recent)
+        self.recovering = RecoveringServers(
+            settings,
+            self.directory,
+            self.load_tracker,
+            self.coordinators,
+            self.route_table,
+        )
+        self.selector = ServerSelector(
+            settings, random, self.pools, self.recent, self.recovering
+        )
         self.syn_router = SynRouter(
             settings,
             self.route_table,
@@ -123,6 +135,17 @@
         self.listening_since = now
         self.probes.resumed_at = now
         self.backlog.note_pause(now, gap_s)
+        self.recovering.tenure.note_pause(now)
+
+    def note_feed(self, is_confirmed: bool, now: float) -> None:
+        """Note an answer of a control VM, after its lists and routes are in force.
+
+        Args:
+            is_confirmed: Whether an up-to-date control VM of this zone gave it, so that
+                the list of the zone's entry VMs is confirmed.
+            now: Current time in monotonic seconds.
+        """
+        self.recovering.note_feed(is_confirmed, now)
 
     def install_routes(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
@@ -130,7 +153,10 @@
 
     def store_record(self, record: ServerRecord, now: float) -> list[BufferedPacket]:
         """Store a server's record; return the packets buffered for its token."""
+        previous = self.directory.by_token.get(record.token)
         self.directory.store_record(record, now)
+        entry = self.directory.by_token[record.token]
+        self.recovering.note_record(entry, previous, now)
         return self.token_buffer.pop_packets(record.token)
 
     def answer_placement_request(
@@ -207,6 +233,10 @@
         """Return the load reports that are due, each with its receiver."""
         return self.load_reporter.due_reports(now)
 
+    def due_pace_reports(self, now: float) -> list[tuple[VmId, PaceReport]]:
+        """Return what to tell coordinators of paced servers, each with its receiver."""
+        return self.recovering.due_reports(now)
+
     def remove_expired(self, now: float) -> None:
         """Remove expired flows, servers, buffered packets and placement requests."""
         self.load_tracker.remove_expired(now)
@@ -218,6 +248,7 @@
         self.recent.remove_expired(now)
         self.lost_flows.remove_expired(now)
         self.coordinators.remove_expired(now)
+        self.recovering.remove_expired(now)
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
--- a/libs/tokens/src/kumquatmux_tokens/server_loads.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_loads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from typing import Protocol
 
 from kumquatmux_tokens.flow import Flow
 from kumquatmux_tokens.settings import TokenRouterSettings
@@ -12,6 +13,21 @@
 """Doublings of the avoidance time that are computed; its upper limit comes sooner."""
 
 
+class ServerWitness(Protocol):
+    """Takes what the packets of callers show of single servers."""
+
+    def note_answer(
+        self, token: int, route_address: bytes, answer_s: float, now: float
+    ) -> None:
+        """Note the first answer to a request."""
+
+    def note_unanswered(self, token: int, now: float) -> None:
+        """Note a SYN packet that a server left unanswered."""
+
+    def note_unopened(self, token: int, now: float) -> None:
+        """Note a SYN packet that no other packet of its flow followed."""
+
+
 class LocalLoad:
     """Load that the flows through this VM put on one server.
 
@@ -59,6 +75,7 @@
         has_unreported_change: Whether the load caused here changed; the reader clears
             it.
         peer_load: Load that other VMs of the zone report.
+        witness: Takes what packets show of single servers, None if nobody wants it.
     """
 
     def __init__(self, settings: TokenRouterSettings) -> None:
@@ -66,6 +83,7 @@
         self.local_loads: dict[int, LocalLoad] = {}
         self.changed_tokens: set[int] = set()
         self.has_unreported_change = False
+        self.witness: ServerWitness | None = None
         self.peer_load = PeerLoad(settings, self.changed_tokens)
 
     def local_load_at(self, token: int) -> LocalLoad:
@@ -83,6 +101,13 @@
         peer_load = self.peer_load.totals.get(token)
         return peer_load is None or not peer_load.active_requests
 
+    def active_requests(self, token: int) -> int:
+        """Return the requests in progress at a server, here and at other VMs."""
+        own_load = self.local_loads.get(token)
+        peer_load = self.peer_load.totals.get(token)
+        own_requests = own_load.active_requests if own_load is not None else 0
+        return own_requests + (peer_load.active_requests if peer_load else 0)
+
     def start_request(self, flow: Flow, now: float) -> None:
         """Count a request of a flow as in progress at the flow's server."""
         if flow.request_sent_at is None:
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -7,6 +7,18 @@
 from kumquatmux_core.identity import VmId, ZoneName
 
 
+class WarmUpLimits(NamedTuple):
+    """Limit of the openings that a cold server gets in any second.
+
+    Attributes:
+        overage: Factor of the requests a second that the server bears.
+        slack: Openings beyond that.
+    """
+
+    overage: float
+    slack: float
+
+
 class TokenRouterSettings(NamedTuple):
     """Settings of the token router of one entry VM.
 
@@ -109,6 +121,21 @@
             share.
         many_requests_active_cost: Cost of a request in progress when the new flow is
             expected to carry many requests; the cost is 1 for other flows.
+        warm_up_limits: Limit of the openings at a cold server, None for no limit and no
+            pace.
+        budget_window_s: Seconds within which that limit holds.
+        vm_list_validity_s: Seconds for which the list of the zone's entry VMs counts as
+            confirmed after an answer of a control VM of the zone; as many as a control
+            VM may be silent.
+        budget_wait_s: Seconds for which a VM has to be the first one for a service
+            before it grants openings at cold servers. The former holder may go on for
+            ``vm_list_validity_s``, and 0.3 s longer where answers queue on a saturated
+            link; its grants count for ``budget_window_s`` after that.
+        pace_lift_s: Seconds without a fault after which the requests in progress at a
+            server that started or recovered are limited no longer.
+        late_answer_factor: Factor of the service's recent mean time to the first answer
+            within which an answer is in time, where the route has no target latency.
+        mean_answer_smoothing: Weight of one answer in that mean.
     """
 
     vm: VmId
@@ -164,6 +191,13 @@
     follow_up_share_threshold: float = 0.5
     follow_up_share_smoothing: float = 0.05
     many_requests_active_cost: float = 0.25
+    warm_up_limits: WarmUpLimits | None = None
+    budget_window_s: float = 1.0
+    vm_list_validity_s: float = 1.2
+    budget_wait_s: float = 2.5
+    pace_lift_s: float = 10.0
+    late_answer_factor: float = 2.0
+    mean_answer_smoothing: float = 0.05
 
     def report_interval_s(self, vms: int) -> float:
         """Return the seconds between reports of changed load in a zone of some VMs."""
--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -57,6 +57,7 @@
         self.load_reporter = load_reporter
         self.directory = selector.directory
         self.load_tracker = selector.load_tracker
+        self.recovering = selector.recovering
         self.coordinators = load_reporter.coordinators
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
@@ -81,7 +82,10 @@
         elif flow is not None:
             entry = self.directory.running_entry(flow.token)
             if entry is not None and entry.ended_at is None:
-                return Forward(entry.record, entry.token)
+                if not self.recovering.is_cold(entry, now):
+                    return Forward(entry.record, entry.token)
+                if entry.token in flow.tried_tokens:
+                    return Drop("copy-cold")
         tried_tokens = flow.tried_tokens if flow is not None else ()
         if header.flow_key in self.coordinators.pending_requests:
             if self.coordinators.is_pending(header.flow_key, now):
@@ -116,6 +120,7 @@
             The buffered SYN packet to forward now, None if there is none whose caller
             still waits or every server is full.
         """
+        self.coordinators.note_delay(answer.flow_key, now)
         self.coordinators.record_answer(answer.sender, answer.flow_key)
         packet = self.syn_buffer.unexpired_packet(answer.flow_key, now)
         if packet is None:
@@ -132,7 +137,8 @@
     ) -> Decision:
         """Return the decision for a SYN packet whose server another VM selected.
 
-        If that server is unknown here or accepts no new flows, this VM selects one.
+        If that server is unknown here, accepts no new flows, or is cold and the answer
+        grants no opening there, this VM selects one.
         """
         route = self.route_table.routes.get(header.route_address)
         if route is None:
@@ -141,6 +147,10 @@
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_locally(header, service, now)
+        if self.recovering.is_cold(entry, now) and not self._is_grant(answer, service):
+            return self._place_locally(header, service, now)
+        if answer.is_paced:
+            self.recovering.watch(answer.token, now)
         self.load_reporter.reports_to(
             answer.sender
         ).used_reservation = answer.reservation_number
@@ -150,6 +160,16 @@
         self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
+    def _is_grant(self, answer: PlaceAnswer, service: ServiceName) -> bool:
+        """Return whether an answer allows an opening at a cold server.
+
+        Not so if another VM than the holder of the warm-up budget, as far as is known
+        here, gave it, or if it may be one to a request that has timed out: it was
+        counted against the budget of another second.
+        """
+        is_of_holder = answer.sender == self.coordinators.first_for(service)
+        return is_of_holder and answer.flow_key not in self.coordinators.timed_out
+
     def _place_locally(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -50,6 +50,7 @@
     "FeedAnswer": ("members",),
     "FlowAnswer": ("seen_token",),
     "PlaceQuestion": ("sequence_number",),
+    "PlaceAnswer": ("is_paced",),
 }
 """Fields that message types got since; older senders leave them out."""
 
