--- a/libs/daemons/tests/pace_world.py
+++ b/libs/daemons/tests/pace_world.py
@@ -123,6 +123,13 @@
         self.line, self.busy = [], 0
         self.openings = []
 
+    def slowness(self, now):
+        """Return the factor on the work: requests in progress slow a cold one down."""
+        if self.cold_until <= now:
+            return 1.0
+        in_progress = self.busy + len(self.line)
+        return self.cold_factor * max(in_progress / SLOTS, 1.0)
+
     def busiest_second(self):
         """Return the most openings that arrived within any second."""
         times = sorted(self.openings)
@@ -137,6 +144,7 @@
 
     def __init__(self, vms, servers, seed=1, limits=LIMITS, target_latency_s=0.5):
         self.random = Random(seed)
+        self.arrivals = Random(seed + 1000)
         self.now = 0.0
         self.servers = {one.number: one for one in servers}
         self.vms = [f"10.3.0.{k + 1}" for k in range(vms)]
@@ -243,8 +251,8 @@
         while server.line and server.busy < SLOTS:
             caller, vm = server.line.pop(0)
             server.busy += 1
-            factor = server.cold_factor if server.cold_until > self.now else 1.0
-            done_at = self.now + server.work_s * factor * self.random.uniform(0.5, 1.5)
+            work_s = server.work_s * server.slowness(self.now)
+            done_at = self.now + work_s * self.random.uniform(0.5, 1.5)
             self.at(done_at, self.finish, server, server.born_ms, caller, vm)
 
     def finish(self, server, born_ms, caller, vm):
@@ -261,7 +269,7 @@
     def call(self, vm=None):
         """Start a caller whose packets pass one VM."""
         caller = next(self.new_callers)
-        vm = vm or self.random.choice(self.ingress)
+        vm = vm or self.arrivals.choice(self.ingress)
         self.callers[caller] = {"vm": vm, "since": self.now, "server": None}
         self.send_syn(caller, 0)
         for copy, offset in enumerate(RETRANSMITS_S, 1):
@@ -289,7 +297,7 @@
         while self.now < until:
             self.now += STEP_S
             while per_s and next_call <= self.now:
-                next_call += self.random.expovariate(per_s)
+                next_call += self.arrivals.expovariate(per_s)
                 self.call()
             for vm, thaws_at in list(self.frozen.items()):
                 if thaws_at <= self.now - STEP_S:
--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -55,6 +55,7 @@
 from kumquatmux_storage.store import Identity, open_or_create
 from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
 from kumquatmux_tokens.questions import FlowAnswer, FlowOpened, FlowQuestion
+from kumquatmux_tokens.server_pace import PacedAnswers, PaceReport
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
 PLACE = Endpoint("127.0.0.1", 0)
@@ -462,6 +463,16 @@
     assert take_in(PEER, odd).error.code == "message-refused"
 
 
+# Guards against: a count that no VM can have made, which would lift a server's limit.
+def test_odd_answers_of_a_paced_server_are_left_out_of_a_report():
+    odd = [(-1, 1, 1), (5, -1, 0), (5, 0, (1 << 32) + 1), (1 << 32, 1, 0)]
+    servers = tuple(PacedAnswers(*one) for one in (*odd, (5, 3, 1)))
+    taken = take_in(PEER, PaceReport(PEER, servers)).ok
+    assert taken.servers == (PacedAnswers(5, 3, 1),)
+    many = PaceReport(PEER, (PacedAnswers(5, 1, 1),) * 100_001)
+    assert take_in(PEER, many).error.code == "message-refused"
+
+
 # Guards against: the role's "unknown message" error for a message of the other role.
 @pytest.mark.parametrize("kind", sorted(SOFT.types))
 def test_each_role_leaves_the_messages_of_the_other(peers, kind):
