--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -8,6 +8,7 @@
 from kumquatmux_core.identity import ServiceName
 from kumquatmux_tokens.choice import NewFlow
 from kumquatmux_tokens.directory import ServerEntry
+from kumquatmux_tokens.flow import Flow
 from kumquatmux_tokens.load_reporter import LoadReporter
 from kumquatmux_tokens.packets import (
     Decision,
@@ -57,6 +58,7 @@
         self.load_reporter = load_reporter
         self.directory = selector.directory
         self.load_tracker = selector.load_tracker
+        self.recovering = selector.recovering
         self.coordinators = load_reporter.coordinators
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
@@ -81,7 +83,9 @@
         elif flow is not None:
             entry = self.directory.running_entry(flow.token)
             if entry is not None and entry.ended_at is None:
-                return self._decide_copy(entry)
+                copied = self._decide_copy(flow, entry, now)
+                if copied is not None:
+                    return copied
         if self._is_evacuated(service, now):
             return self._refuse(header, "zone-evacuated", now)
         tried_tokens = flow.tried_tokens if flow is not None else ()
@@ -118,6 +122,7 @@
             The buffered SYN packet to forward now, None if there is none whose caller
             still waits or every server is full.
         """
+        self.coordinators.note_delay(answer.flow_key, now)
         self.coordinators.record_answer(answer.sender, answer.flow_key)
         packet = self.syn_buffer.unexpired_packet(answer.flow_key, now)
         if packet is None:
@@ -134,7 +139,8 @@
     ) -> Decision:
         """Return the decision for a SYN packet whose server another VM selected.
 
-        If that server is unknown here or accepts no new flows, this VM selects one.
+        If that server is unknown here, accepts no new flows, or is cold and the answer
+        grants no opening there, this VM selects one.
         """
         route = self.route_table.routes.get(header.route_address)
         if route is None:
@@ -143,6 +149,10 @@
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_locally(header, service, now)
+        if self.recovering.is_cold(entry, now) and not self._is_grant(answer, service):
+            return self._place_locally(header, service, now)
+        if answer.is_paced:
+            self.recovering.watch(answer.token, now)
         self.load_reporter.reports_to(
             answer.sender
         ).used_reservation = answer.reservation_number
@@ -152,15 +162,23 @@
         self._log_placement(header, entry, now, placer=answer.sender)
         return Forward(entry.record, answer.token)
 
-    def _decide_copy(self, entry: ServerEntry) -> Decision:
+    def _decide_copy(
+        self, flow: Flow, entry: ServerEntry, now: float
+    ) -> Decision | None:
         """Return the decision for a copy that came too soon to be a retransmission.
 
         It goes to no second server, where it would open the flow again. If the first
         one gets no new flows any more, a retransmission is placed elsewhere.
+
+        Returns:
+            None if the flow is at a cold server that it was not sent to, so that the
+            copy is placed like a first SYN packet.
         """
         if self.directory.is_evacuated(entry):
             return Drop("copy-refused")
-        return Forward(entry.record, entry.token)
+        if not self.recovering.is_cold(entry, now):
+            return Forward(entry.record, entry.token)
+        return Drop("copy-cold") if entry.token in flow.tried_tokens else None
 
     def _is_evacuated(self, service: ServiceName, now: float) -> bool:
         """Return whether all servers of a service are in evacuated zones.
@@ -172,6 +190,16 @@
         is_new = now - self.started_at < self.settings.server_learning_s
         return not is_new and self.directory.ready_servers(service).is_evacuated
 
+    def _is_grant(self, answer: PlaceAnswer, service: ServiceName) -> bool:
+        """Return whether an answer allows an opening at a cold server.
+
+        Not so if another VM than the holder of the warm-up budget, as far as is known
+        here, gave it, or if it may be one to a request that has timed out: it was
+        counted against the budget of another second.
+        """
+        is_of_holder = answer.sender == self.coordinators.first_for(service)
+        return is_of_holder and answer.flow_key not in self.coordinators.timed_out
+
     def _place_locally(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -50,6 +50,7 @@
     "FeedAnswer": (("members",), ("evacuation_revision", "evacuated_zones")),
     "FlowAnswer": (("seen_token",),),
     "PlaceQuestion": (("sequence_number",),),
+    "PlaceAnswer": (("is_paced",),),
 }
 """Fields that message types got since, change by change; older senders leave them out.
 
