--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -20,9 +20,10 @@
 from kumquatmux_daemons.token_entry.waiting_syns import WaitingSyns
 from kumquatmux_registry.follower import Follower, FollowerSettings
 from kumquatmux_registry.table import ServerTable
+from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.probes import ProbeResult
 from kumquatmux_tokens.router import TokenRouter
-from kumquatmux_tokens.settings import TokenRouterSettings
+from kumquatmux_tokens.settings import LinkSettings, TokenRouterSettings
 
 POLL_S = 0.5
 """Seconds between polls of the control VMs, and between sweeps."""
@@ -55,6 +56,7 @@
         routing: Has callers' packets routed.
         waiting: SYN packets that wait until a server can take their flow.
         messages: Takes the messages of other VMs.
+        message_bytes: Bytes of the messages that were sent and taken so far.
     """
 
     def __init__(
@@ -63,7 +65,8 @@
         self.settings = settings
         self.format = form
         self.table = ServerTable()
-        tokens = TokenRouterSettings(settings.vm, settings.zone)
+        link = LinkSettings(settings.limits.link_bytes_per_s)
+        tokens = TokenRouterSettings(settings.vm, settings.zone, link=link)
         self.router = TokenRouter(tokens, random, now)
         self.follower = Follower(
             FollowerSettings(settings.vm, settings.zone, False, settings.seeds)
@@ -75,6 +78,7 @@
         self.is_stopping = False
         self.poll_at = now
         self.sweep_at = now
+        self.message_bytes = 0
         parts = CoreParts(
             settings,
             form,
@@ -100,6 +104,8 @@
             self.router.reports_due_at(),
             self.router.lost_flows.due_at,
         )
+        if self.router.link.is_enabled:
+            due_at = min(due_at, self.router.link.due_at(now))
         if self.router.syn_buffer.by_flow:
             due_at = min(due_at, max(self.waiting.retry_at, now))
         return due_at
@@ -132,7 +138,9 @@
         if head is None:
             self.counts["packets.unread"] += 1
             return []
-        return self.containment.run("packet", self.routing.route, head, data, now)
+        if not self.router.link.is_enabled:
+            return self.containment.run("packet", self.routing.route, head, data, now)
+        return self.containment.run("packet", self._route_counted, head, data, now)
 
     def message(self, sender: VmId, message: Any, now: float) -> list[Effect]:
         """Return what follows from a message of another VM.
@@ -169,11 +177,39 @@
             effects += [Sent(vm, poll) for vm, poll in self.follower.polls(now)]
         if now >= self.router.reports_due_at():
             effects += self._report_load(now)
+        if self.router.link.is_enabled:
+            effects += self._use_link(now)
         if now >= self.waiting.retry_at:
             effects += self.waiting.try_again(now)
         unanswered = self.router.lost_flows.pop_due(now)
         return effects + self.routing.route_held(unanswered, now)
 
+    def note_message_bytes(self, total: int, now: float) -> None:
+        """Note the bytes of all messages that were sent and taken until now."""
+        if self.router.link.is_active and total > self.message_bytes:
+            account = self.router.link.account
+            account.record_messages(total - self.message_bytes, now)
+        self.message_bytes = total
+
+    def _route_counted(
+        self, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
+        """Return what follows from a packet whose use of the link counts."""
+        link = self.router.link
+        dropped = link.record_packet(head, len(data), now)
+        if dropped is not None:
+            return self.routing.effects.apply(dropped, head, data, now)
+        effects = self.routing.route(head, data, now)
+        return effects + self.waiting.admit(now) if link.can_admit else effects
+
+    def _use_link(self, now: float) -> list[Effect]:
+        """Admit the uploads that the link can carry, and report the queue for it."""
+        link = self.router.link
+        effects = self.waiting.admit(now) if link.queue.by_flow else []
+        if now >= link.report_due_at():
+            effects += [Sent(vm, report) for vm, report in link.due_reports(now)]
+        return effects
+
     def _waiting_probes(self, now: float) -> list[Effect]:
         """Return the probes that waited for others to end."""
         entries = self.router.start_waiting_probes(now)
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -28,6 +28,7 @@
 from kumquatmux_daemons.waiting import bind_when_possible
 from kumquatmux_registry.feed import MESSAGE_TYPES as FEED_MESSAGES
 from kumquatmux_registry.lookup import MESSAGE_TYPES as LOOKUP_MESSAGES
+from kumquatmux_tokens.link_admission import LinkAdmission
 from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
 
 
@@ -93,6 +94,7 @@
 
     def end_batch(self, now: float) -> None:
         """Plan the next tick after a batch."""
+        self.note_messages(now)
         self.timer.move_forward(self.core.due_at(now))
 
     def end_packets(self, now: float) -> None:
@@ -108,12 +110,20 @@
         as fresh.
         """
         self.lines.tick(now)
+        self.note_messages(now)
         self.carry_out(self.core.tick(now))
         if self.core.router.backlog.is_unread(now):
             self.ports.packets.read_batch(self.take_packet, now)
             self.end_packets(now)
         return self.core.due_at(now)
 
+    def note_messages(self, now: float) -> None:
+        """Tell the core how much of the link the messages used."""
+        if self.core.router.link.is_enabled:
+            counts = self.ports.peers.counts
+            total = counts["peers.sent_bytes"] + counts["peers.taken_bytes"]
+            self.core.note_message_bytes(total, now)
+
     def carry_out(self, effects: Iterable[Effect]) -> None:
         """Send what the core wants sent, and start the probes that it wants."""
         for effect in effects:
@@ -189,6 +199,19 @@
     return handle
 
 
+def link_gauges(link: LinkAdmission, now: float) -> dict[str, float]:
+    """Return the gauges of the link, none where its capacity is not known."""
+    if not link.is_enabled:
+        return {}
+    account = link.account
+    return {
+        "uploads": float(len(account.live_uploads(now))),
+        "uploads_waiting": float(len(link.queue.by_flow)),
+        "link_queue_s": account.queue_s(now),
+        "link_use": account.use,
+    }
+
+
 def metrics_handler(core: EntryCore, ports: Ports, lines: LineWriter) -> Any:
     """Return what answers with the metrics."""
 
@@ -199,6 +222,7 @@
             "servers": float(len(core.router.directory.by_token)),
             "flows": float(len(core.router.load_tracker.flows)),
             "held": float(core.router.token_buffer.count),
+            **link_gauges(core.router.link, trio.current_time()),
             "lines_dropped": float(sum(lines.dropped.values())),
         }
         text = metrics_text.render(counts, gauges, core.router.load_tracker.latencies)
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/packet_effects.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/packet_effects.py
@@ -15,6 +15,7 @@
     Drop,
     Forward,
     ForwardAndProbe,
+    HoldForLink,
     HoldForServer,
     HoldForToken,
     PacketHeader,
@@ -123,6 +124,17 @@
             )
         return []
 
+    @_apply.register
+    def _(
+        self, decision: HoldForLink, head: PacketHeader, data: bytes, now: float
+    ) -> list[Effect]:
+        is_new = head.flow_key not in self.router.syn_buffer.by_flow
+        if not self.router.syn_buffer.add(head, data, now):
+            self.counts["drops.too-many-waiting"] += 1
+        elif is_new:
+            self.counts["openings.link-busy"] += 1
+        return []
+
     @_apply.register
     def _(
         self, decision: RequestPlacement, head: PacketHeader, data: bytes, now: float
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/packet_routing.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/packet_routing.py
@@ -7,10 +7,18 @@
 from kumquatmux_daemons.token_entry.containment import Containment
 from kumquatmux_daemons.token_entry.effects import Effect, Sent
 from kumquatmux_daemons.token_entry.packet_effects import PacketEffects
-from kumquatmux_tokens.packets import HoldForServer, PacketHeader, RequestPlacement
+from kumquatmux_tokens.packets import (
+    HoldForLink,
+    HoldForServer,
+    PacketHeader,
+    RequestPlacement,
+)
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.waiting import BufferedPacket
 
+WAITING_DECISIONS = (HoldForServer, HoldForLink, RequestPlacement)
+"""Decisions after which a SYN packet stays in the buffer."""
+
 
 class PacketRouting:
     """Has packets routed and the decisions carried out.
@@ -31,7 +39,7 @@
     def route(self, head: PacketHeader, data: bytes, now: float) -> list[Effect]:
         """Return what follows from a packet."""
         decision = self.router.route_packet(head, now)
-        if head.is_syn and not isinstance(decision, HoldForServer | RequestPlacement):
+        if head.is_syn and not isinstance(decision, WAITING_DECISIONS):
             self.router.syn_buffer.remove(head.flow_key)
         effects = self.effects.apply(decision, head, data, now)
         if self.router.load_tracker.shown_flows:
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/peer_messages.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/peer_messages.py
@@ -15,6 +15,7 @@
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.records import ServerRecord
+from kumquatmux_tokens.link_occupancy import LinkOccupancy
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.questions import (
     FlowAnswer,
@@ -139,6 +140,11 @@
         latest = self.router.opened_flows.latest()
         return [Sent(message.sender, opened) for opened in latest]
 
+    @_handle.register
+    def _(self, message: LinkOccupancy, now: float) -> list[Effect]:
+        self.router.link.zone.record(message, now)
+        return []
+
     def _ask_for_news(self, now: float) -> list[Effect]:
         """Ask some VMs of the zone for news of flows, after a time without an answer.
 
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/waiting_syns.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/waiting_syns.py
@@ -5,7 +5,12 @@
 from kumquatmux_daemons.token_entry.containment import Containment
 from kumquatmux_daemons.token_entry.effects import Effect
 from kumquatmux_daemons.token_entry.packet_effects import PacketEffects
-from kumquatmux_tokens.packets import Decision, HoldForServer, RequestPlacement
+from kumquatmux_tokens.packets import (
+    Decision,
+    HoldForLink,
+    HoldForServer,
+    RequestPlacement,
+)
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.waiting import BufferedPacket
 
@@ -43,6 +48,13 @@
             effects += self.containment.run("packet", self._try_one, held, now)
         return effects
 
+    def admit(self, now: float) -> list[Effect]:
+        """Place the SYN packets whose uploads this VM's link can carry now."""
+        effects: list[Effect] = []
+        for held in self.router.link.pop_admitted(now):
+            effects += self.containment.run("packet", self._try_one, held, now)
+        return effects
+
     def _try_one(self, held: BufferedPacket, now: float) -> list[Effect]:
         decision = self.router.route_packet(held.header, now)
         return self.release(decision, held, now)
@@ -51,7 +63,7 @@
         self, decision: Decision, held: BufferedPacket, now: float
     ) -> list[Effect]:
         """Carry out a decision about a SYN packet that waits."""
-        if isinstance(decision, HoldForServer):
+        if isinstance(decision, HoldForServer | HoldForLink):
             return []
         if not isinstance(decision, RequestPlacement):
             self.router.syn_buffer.remove(held.header.flow_key)
--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -32,6 +32,7 @@
 from kumquatmux_registry.feed import FeedAnswer, FeedPoll
 from kumquatmux_registry.lookup import TokenAnswer, TokenQuestion
 from kumquatmux_registry.records import ServerRecord, problem_of
+from kumquatmux_tokens.link_occupancy import LinkOccupancy
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.questions import FlowAnswer, FlowOpened, FlowQuestion
 from kumquatmux_tokens.work import LoadShare, ServerLoad
@@ -180,6 +181,12 @@
     return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
 
 
+@_take_in.register
+def _(message: LinkOccupancy) -> Result[Any, Problem]:
+    is_sound = _are_numbers((message.waiting, message.wait_ms))
+    return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
+
+
 @_take_in.register
 def _(message: ElectionMessage) -> Result[Any, Problem]:
     return Ok(message) if _are_fields_bounded(message) else _refused(OUT_OF_BOUNDS)
--- /dev/null
+++ b/libs/daemons/tests/link_day.py
@@ -0,0 +1,286 @@
+"""Callers, servers and one link around the core of an entry VM, for tests.
+
+The link is one queue for both directions, which the core cannot see. Callers behave as
+docs/design/overload.md says: they retransmit a SYN after 0.2 and 0.6 s and give up
+after 1.4 s; they keep 16 packets in flight and retransmit all of them after 0.2 s,
+doubling to 1.6 s. Answers go from the servers to the callers directly.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import struct
+from random import Random
+
+from expression import Ok
+
+from kumquatmux_core.identity import Address, Endpoint
+from kumquatmux_daemons.token_entry.core import EntryCore
+from kumquatmux_daemons.token_entry.effects import Datagram, Sent
+from kumquatmux_daemons.token_entry.settings import EntrySettings, VmLimits
+from kumquatmux_registry.feed import FeedAnswer
+from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
+from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
+
+UPLOADS = Address(bytes([198, 18, 0, 1, 1, 187]))
+FEEDS = Address(bytes([198, 18, 0, 2, 1, 187]))
+PLACE = Endpoint("10.1.0.9", 1)
+LINK_BYTES_PER_S = 250_000.0
+WIRE_S = 0.002
+HEADER_BYTES = 36
+TOKEN_BYTES = 8
+PAYLOAD_BYTES = 1200
+WINDOW_PACKETS = 16
+SYN, DATA, ACK, FIN, RST = range(5)
+LAYOUT = struct.Struct("!BB6s6sIIII")
+FIRST_SEQUENCE = 1000
+
+
+def pack(kind, caller, route, token=0, copy=0, sequence=FIRST_SEQUENCE, ack=0, size=0):
+    head = LAYOUT.pack(
+        kind, copy, caller.to_bytes(6), route, token, sequence, ack, size
+    )
+    return head + bytes(HEADER_BYTES + size - len(head))
+
+
+class Format:
+    """Packets as ``pack`` writes them."""
+
+    def read_head(self, packet):
+        kind, copy, caller, route, token, sequence, ack, size = LAYOUT.unpack_from(
+            packet
+        )
+        is_end = kind in (FIN, RST)
+        return PacketHeader(
+            caller + route, route, token, kind == SYN, is_end, copy, sequence, ack, size
+        )
+
+    def names_server(self, name):
+        return True
+
+    def to_server(self, packet, server, token):
+        return packet + token.to_bytes(TOKEN_BYTES)
+
+    def reset_for(self, packet, sequence):
+        _, _, caller, route, *_ = LAYOUT.unpack_from(packet)
+        return pack(RST, int.from_bytes(caller), route)
+
+    def caller_ip(self, packet):
+        return "100.64.0.1"
+
+    def read_routes(self, content):
+        services = (WeightedService("servers", 1),)
+        uploads = Route("uploads", UPLOADS, services, 0, 1.2, 6.0, True)
+        feeds = Route("feeds", FEEDS, services, 0, 0.5, 2.5)
+        return Ok(RouteSet(1, (uploads, feeds), frozenset({"servers"}), 15.0))
+
+
+def make_core(link_bytes_per_s, entries=("e1",), servers=5):
+    settings = EntrySettings(
+        "e1", "a", PLACE, PLACE, PLACE, PLACE, ("c1",),
+        limits=VmLimits(link_bytes_per_s),
+    )  # fmt: skip
+    core = EntryCore(settings, Format(), Random(1), 0.0)
+    records = tuple(make_server(number) for number in range(1, servers + 1))
+    core.message(
+        "c1",
+        FeedAnswer(
+            "c1", "a", 1, 0, len(records), records, 1, b"1", ("c1",), entries, True
+        ),
+        0.0,
+    )
+    return core
+
+
+def make_server(number):
+    place = Endpoint("10.0.0.9", number)
+    lifetime = Lifetime(f"i-{number}", 1)
+    report = Report(lifetime, 1, "servers", place, "a", "v1", 2, Phase.READY, 0.0)
+    return ServerRecord(report, "c1")
+
+
+class Caller:
+    """One flow of a caller, with what its server has of it."""
+
+    def __init__(self, number, route, size, work_s, started_at):
+        self.number = number
+        self.route = route
+        self.size = size
+        self.work_s = work_s
+        self.started_at = started_at
+        self.token = 0
+        self.acknowledged = 0
+        self.sent = 0
+        self.taken = set()
+        self.delivered = 0
+        self.timeout_s = 0.2
+        self.timer = 0
+        self.done_at = None
+        self.ended = ""
+
+    @property
+    def packets(self):
+        return -(-self.size // PAYLOAD_BYTES)
+
+
+class Day:
+    """A run of callers through one core and its link."""
+
+    def __init__(self, core, link_bytes_per_s=LINK_BYTES_PER_S):
+        self.core = core
+        self.link_bytes_per_s = link_bytes_per_s
+        self.events = []
+        self.order = itertools.count()
+        self.free_at = 0.0
+        self.callers = {}
+        self.carried_bytes = 0
+        self.tick_at = 0.0
+        self.sent = []
+
+    def at(self, time, work, *given):
+        heapq.heappush(self.events, (time, next(self.order), work, given))
+
+    def add(self, route, size, work_s, started_at):
+        number = len(self.callers) + 1
+        caller = Caller(number, route, size, work_s, started_at)
+        self.callers[number] = caller
+        for copy, offset_s in enumerate((0.0, 0.2, 0.6)):
+            self.at(started_at + offset_s, self.send_syn, caller, copy)
+        self.at(started_at + 1.4, self.give_up, caller)
+        return caller
+
+    def run(self, until):
+        while self.events or self.tick_at < until:
+            if not self.events or self.tick_at <= self.events[0][0]:
+                now = self.tick_at
+                if now >= until:
+                    return
+                self.carry_out(self.core.tick(now), now)
+            else:
+                now, _, work, given = heapq.heappop(self.events)
+                if now >= until:
+                    return
+                work(now, *given)
+            self.tick_at = max(self.core.due_at(now), now)
+
+    def carry(self, size, now):
+        """Return when the link has carried some bytes."""
+        self.carried_bytes += size
+        self.free_at = max(self.free_at, now) + size / self.link_bytes_per_s
+        return self.free_at
+
+    def carry_out(self, effects, now):
+        for effect in effects:
+            if isinstance(effect, Datagram):
+                arrives_at = self.carry(len(effect.data), now) + WIRE_S
+                self.at(arrives_at, self.arrive, effect.data)
+            elif isinstance(effect, Sent):
+                self.sent.append((now, effect))
+
+    def to_vm(self, now, data):
+        self.at(self.carry(len(data), now + WIRE_S), self.take, data)
+
+    def take(self, now, data):
+        self.carry_out(self.core.packet(data, now), now)
+
+    def send_syn(self, now, caller, copy):
+        if not caller.token and not caller.ended:
+            self.to_vm(now, pack(SYN, caller.number, caller.route, copy=copy))
+
+    def give_up(self, now, caller):
+        if not caller.token and not caller.ended:
+            caller.ended = "gave up"
+
+    def arrive(self, now, data):
+        """Take a datagram at its server, or a reset at its caller."""
+        kind, _, number, _, _, sequence, _, size = LAYOUT.unpack_from(data)
+        caller = self.callers[int.from_bytes(number)]
+        if kind == RST:
+            caller.ended = caller.ended or "reset"
+        elif kind == SYN:
+            token = int.from_bytes(data[-TOKEN_BYTES:])
+            self.at(now + WIRE_S, self.open, caller, token)
+        elif kind == DATA:
+            self.deliver(caller, sequence, size, now)
+
+    def open(self, now, caller, token):
+        if not caller.token and not caller.ended:
+            caller.token = token
+            self.send(caller, ACK, now, sequence=FIRST_SEQUENCE + 1)
+            self.send_window(caller, now)
+
+    def deliver(self, caller, sequence, size, now):
+        caller.taken.add((sequence - FIRST_SEQUENCE - 1) // PAYLOAD_BYTES)
+        while caller.delivered in caller.taken:
+            caller.delivered += 1
+        self.at(now + WIRE_S, self.acknowledge, caller, caller.delivered)
+        if caller.delivered == caller.packets and caller.done_at is None:
+            caller.done_at = now + caller.work_s + WIRE_S
+            self.at(caller.done_at, self.finish, caller)
+
+    def acknowledge(self, now, caller, delivered):
+        if delivered > caller.acknowledged:
+            caller.acknowledged = delivered
+            caller.timeout_s = 0.2
+            self.send_window(caller, now)
+
+    def send_window(self, caller, now):
+        limit = min(caller.acknowledged + WINDOW_PACKETS, caller.packets)
+        while caller.sent < limit:
+            self.send_data(caller, caller.sent, now)
+            caller.sent += 1
+        caller.timer += 1
+        self.at(now + caller.timeout_s, self.resend, caller, caller.timer)
+
+    def resend(self, now, caller, timer):
+        if timer != caller.timer or caller.acknowledged == caller.packets:
+            return
+        if now - caller.started_at > 6.0:
+            return
+        for packet in range(caller.acknowledged, caller.sent):
+            self.send_data(caller, packet, now)
+        caller.timeout_s = min(2 * caller.timeout_s, 1.6)
+        caller.timer += 1
+        self.at(now + caller.timeout_s, self.resend, caller, caller.timer)
+
+    def send_data(self, caller, packet, now):
+        start = packet * PAYLOAD_BYTES
+        size = min(PAYLOAD_BYTES, caller.size - start)
+        sequence = FIRST_SEQUENCE + 1 + start
+        self.send(caller, DATA, now, sequence=sequence, size=size)
+
+    def finish(self, now, caller):
+        sequence = FIRST_SEQUENCE + 1 + caller.size
+        self.send(caller, ACK, now, sequence=sequence, ack=900)
+        self.send(caller, FIN, now, sequence=sequence, ack=900)
+
+    def send(self, caller, kind, now, sequence, size=0, ack=500):
+        data = pack(
+            kind, caller.number, caller.route, caller.token, 0, sequence, ack, size
+        )
+        self.to_vm(now, data)
+
+    def done_within(self, route, seconds):
+        """Return how many callers of a route were served within some time."""
+        return sum(
+            caller.done_at is not None and caller.done_at - caller.started_at <= seconds
+            for caller in self.callers.values()
+            if caller.route == route
+        )
+
+
+def add_load(day, random, until, uploads_per_s, feeds_per_s, varied=True):
+    """Have uploads of 40,000 bytes on average and small requests come at random."""
+    for route, rate, work_s in (
+        (UPLOADS, uploads_per_s, 0.005),
+        (FEEDS, feeds_per_s, 0.055),
+    ):
+        time = random.expovariate(rate) if rate else until
+        while time < until:
+            size = 300
+            if route == UPLOADS:
+                size = random.randrange(20_000, 60_000) if varied else 40_000
+            day.add(route, size, work_s, time)
+            time += random.expovariate(rate)
--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -53,6 +53,7 @@
 from kumquatmux_registry.saved import SavedServers
 from kumquatmux_storage.memory import MemoryDisk
 from kumquatmux_storage.store import Identity, open_or_create
+from kumquatmux_tokens.link_occupancy import LinkOccupancy
 from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
 from kumquatmux_tokens.questions import FlowAnswer, FlowOpened, FlowQuestion
 from kumquatmux_tokens.work import LoadShare, ServerLoad
@@ -462,6 +463,15 @@
     assert take_in(PEER, odd).error.code == "message-refused"
 
 
+@pytest.mark.parametrize(
+    "odd", [LinkOccupancy(PEER, -1, 0), LinkOccupancy(PEER, 1, 1 << 63)]
+)
+def test_a_report_of_a_links_queue_out_of_bounds_is_refused(odd):
+    sound = LinkOccupancy(PEER, 2, 700)
+    assert take_in(PEER, sound).ok == sound
+    assert take_in(PEER, odd).error.code == "message-refused"
+
+
 # Guards against: the role's "unknown message" error for a message of the other role.
 @pytest.mark.parametrize("kind", sorted(SOFT.types))
 def test_each_role_leaves_the_messages_of_the_other(peers, kind):
@@ -478,6 +488,7 @@
         0x060A: [PEER, bytes(12), 5, [5, 6]],
         0x060B: [PEER, bytes(12), 101, 5],
         0x060C: [PEER],
+        0x060D: [PEER, 2, 700],
     }[kind]
     for core in (make_entry(), make_control()):
         deliver(peers, core, [encoded(kind, fields)])
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/link_account.py
@@ -0,0 +1,273 @@
+"""Account of an entry VM's network link: its modelled queue and the uploads under way.
+
+Packets that exceed the link wait in the network, where no process sees them. The bytes
+that were received and sent so far, drained at the link's rate, show how many do.
+"""
+
+from __future__ import annotations
+
+import math
+
+from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.sequences import SEQUENCE_SPACE, is_after
+from kumquatmux_tokens.settings import LinkSettings
+
+LINK_BYTES_PER_RECEIVED_BYTE = 2.01
+"""Bytes that the link carries for each byte of a caller's packet.
+
+One shared capacity carries a packet in and, with 8 more bytes of 1,236, out again.
+"""
+
+RECEIVED_BYTES_PER_DATA_BYTE = 1.03
+"""Bytes of a packet for each byte of its data: a header of 36 bytes on 1,200."""
+
+
+class Upload:
+    """An upload under way.
+
+    Attributes:
+        expected_bytes: Bytes of data that it is expected to send in all.
+        first_sequence_number: Sequence number of its first byte of data.
+        next_sequence_number: Sequence number after the last byte that was seen.
+        largest_payload: Length of its longest packet's data.
+        is_tail_seen: Whether its latest new data came in a packet that was not filled,
+            as the last one of an upload is.
+        is_ended: Whether its caller has closed it.
+        last_packet_at: Time of its latest packet.
+        departures: Time at which each of the latest data packets leaves the modelled
+            queue, by sequence number, oldest first.
+    """
+
+    __slots__ = (
+        "departures",
+        "expected_bytes",
+        "first_sequence_number",
+        "is_ended",
+        "is_tail_seen",
+        "largest_payload",
+        "last_packet_at",
+        "next_sequence_number",
+    )
+
+    def __init__(
+        self, expected_bytes: float, first_sequence_number: int, now: float
+    ) -> None:
+        self.expected_bytes = expected_bytes
+        self.first_sequence_number = first_sequence_number
+        self.next_sequence_number = first_sequence_number
+        self.largest_payload = 0
+        self.is_tail_seen = False
+        self.is_ended = False
+        self.last_packet_at = now
+        self.departures: dict[int, float] = {}
+
+    @property
+    def seen_bytes(self) -> int:
+        """Bytes of data that were seen."""
+        return (self.next_sequence_number - self.first_sequence_number) % SEQUENCE_SPACE
+
+
+class LinkAccount:
+    """Model of the link's queue, and the claims of uploads on it.
+
+    Attributes:
+        uploads: Uploads under way by flow key.
+        busy_until: Time at which the link has carried all that is known of.
+        peak_queue_s: Longest queue of late, in seconds.
+        peak_at: Time of that queue.
+        received_bytes: Bytes of all packets and messages, as if received, since the
+            latest measurement of the rate.
+        upload_bytes: Part of them that belongs to uploads.
+        other_bytes_per_s: Rate of the other part on the link, on average.
+        use: Share of the link that was used before the latest measurement.
+        measured_at: Time of the latest measurement of the rate.
+        has_ended_claim: Whether a claim has ended; the reader clears it.
+    """
+
+    def __init__(self, settings: LinkSettings, now: float) -> None:
+        self.settings = settings
+        self.uploads: dict[bytes, Upload] = {}
+        self.busy_until = -math.inf
+        self.peak_queue_s = 0.0
+        self.peak_at = -math.inf
+        self.received_bytes = 0.0
+        self.upload_bytes = 0.0
+        self.other_bytes_per_s = 0.0
+        self.use = 0.0
+        self.measured_at = now
+        self.has_ended_claim = False
+
+    def record_received(self, size: float, now: float) -> None:
+        """Record a packet that has come in and goes out again.
+
+        Args:
+            size: Its bytes.
+            now: Current time in monotonic seconds.
+        """
+        self.received_bytes += size
+        carried_s = size / self.settings.bytes_per_s
+        # The link carried the packet in before it was read.
+        self.busy_until = (
+            max(self.busy_until, now - carried_s)
+            + LINK_BYTES_PER_RECEIVED_BYTE * carried_s
+        )
+        queue_s = self.busy_until - now
+        memory_s = self.settings.upload_idle_s
+        if queue_s >= self.peak_queue_s or now - self.peak_at > memory_s:
+            self.peak_queue_s = queue_s
+            self.peak_at = now
+
+    def record_messages(self, size: float, now: float) -> None:
+        """Record messages of this or other VMs, each of which uses the link once."""
+        self.record_received(size / LINK_BYTES_PER_RECEIVED_BYTE, now)
+
+    def queue_s(self, now: float) -> float:
+        """Return the seconds that the link needs for all that is known to wait."""
+        return max(self.busy_until - now, 0.0)
+
+    def delay_s(self, now: float) -> float:
+        """Return the seconds that a message may wait on its way in or out.
+
+        Data of uploads that callers have in flight waits unseen on its way in.
+        """
+        in_flight = sum(map(self.in_flight, self.live_uploads(now)))
+        unseen_s = in_flight * RECEIVED_BYTES_PER_DATA_BYTE / self.settings.bytes_per_s
+        return self.queue_s(now) + unseen_s
+
+    def explains(self, silence_s: float, now: float) -> bool:
+        """Return whether the queue explains that an answer has not come for a time."""
+        is_recent = self.peak_at >= now - silence_s
+        if is_recent and self.peak_queue_s > silence_s:
+            return True
+        return self.delay_s(now) > silence_s
+
+    def start_upload(
+        self,
+        flow_key: bytes,
+        expected_bytes: float,
+        first_sequence_number: int,
+        now: float,
+    ) -> Upload:
+        """Start the claim of an upload."""
+        upload = Upload(expected_bytes, first_sequence_number, now)
+        self.uploads[flow_key] = upload
+        return upload
+
+    def record_data(self, upload: Upload, header: PacketHeader, now: float) -> bool:
+        """Record a data packet of an upload that was received.
+
+        Returns:
+            Whether it is a copy of one that still waits to go out, so that it should
+            not be forwarded.
+        """
+        size = header.payload_length
+        self.upload_bytes += size * RECEIVED_BYTES_PER_DATA_BYTE
+        end = (header.sequence_number + size) % SEQUENCE_SPACE
+        if not is_after(end, upload.next_sequence_number):
+            return self._is_waiting_copy(upload, header, now)
+        upload.next_sequence_number = end
+        upload.is_tail_seen = size < upload.largest_payload
+        upload.largest_payload = max(upload.largest_payload, size)
+        self.has_ended_claim |= upload.is_tail_seen
+        departures = upload.departures
+        departures[header.sequence_number] = self.busy_until
+        if len(departures) > self.settings.departures_limit:
+            del departures[next(iter(departures))]
+        return False
+
+    def withdraw(self, size: int) -> None:
+        """Take back that a data packet goes out, as it was dropped.
+
+        Args:
+            size: Length of its data in bytes.
+        """
+        outgoing = (LINK_BYTES_PER_RECEIVED_BYTE - 1.0) * RECEIVED_BYTES_PER_DATA_BYTE
+        self.busy_until -= outgoing * size / self.settings.bytes_per_s
+
+    def end_upload(self, upload: Upload) -> None:
+        """End the claim of an upload that its caller has closed."""
+        upload.is_ended = True
+        self.has_ended_claim = True
+
+    def remaining_bytes(self, upload: Upload) -> float:
+        """Return the bytes of data that an upload is still expected to send.
+
+        One that has sent more than others do may have half a window in flight, until
+        its last packet is seen.
+        """
+        if upload.is_ended or upload.is_tail_seen:
+            return 0.0
+        left = upload.expected_bytes - upload.seen_bytes
+        return max(left, self.settings.window_bytes / 2)
+
+    def in_flight(self, upload: Upload) -> float:
+        """Return the bytes of data that an upload may have in flight."""
+        return min(self.remaining_bytes(upload), self.settings.window_bytes)
+
+    def live_uploads(self, now: float) -> list[Upload]:
+        """Return the uploads that are still expected to send data."""
+        limit = now - self.settings.upload_idle_s
+        return [
+            upload
+            for upload in self.uploads.values()
+            if upload.last_packet_at > limit
+            and not (upload.is_ended or upload.is_tail_seen)
+        ]
+
+    def has_room(self, expected_bytes: float, now: float) -> bool:
+        """Return whether an upload can start now."""
+        pass_s = self.settings.window_pass_s
+        if self.queue_s(now) > pass_s:
+            return False
+        live = self.live_uploads(now)
+        if not live:
+            return True
+        window = min(expected_bytes, self.settings.window_bytes)
+        return self.carry_s(window + sum(map(self.in_flight, live))) <= pass_s
+
+    def room_at(self, now: float) -> float:
+        """Return when an upload may start, if no packet comes until then."""
+        drained_at = self.busy_until - self.settings.window_pass_s
+        live = self.live_uploads(now)
+        idle_s = self.settings.upload_idle_s
+        idle_at = min((one.last_packet_at + idle_s for one in live), default=now)
+        return max(drained_at, idle_at, now)
+
+    def carry_s(self, data_bytes: float) -> float:
+        """Return the seconds of the whole link that data of uploads takes."""
+        received = data_bytes * RECEIVED_BYTES_PER_DATA_BYTE
+        return received * LINK_BYTES_PER_RECEIVED_BYTE / self.settings.bytes_per_s
+
+    def upload_s(self, data_bytes: float) -> float:
+        """Return the seconds that data of uploads takes beside the other traffic."""
+        other_share = self.other_bytes_per_s / self.settings.bytes_per_s
+        share = max(1.0 - other_share, self.settings.least_upload_share)
+        return self.carry_s(data_bytes) / share
+
+    def measure_rate(self, now: float) -> None:
+        """Measure the rate of other traffic since the latest measurement."""
+        elapsed_s = now - self.measured_at
+        if elapsed_s <= 0:
+            return
+        used = self.received_bytes * LINK_BYTES_PER_RECEIVED_BYTE / elapsed_s
+        self.use = used / self.settings.bytes_per_s
+        other = max(self.received_bytes - self.upload_bytes, 0.0)
+        rate = other * LINK_BYTES_PER_RECEIVED_BYTE / elapsed_s
+        smoothing = self.settings.rate_smoothing
+        self.other_bytes_per_s += smoothing * (rate - self.other_bytes_per_s)
+        self.received_bytes = self.upload_bytes = 0.0
+        self.measured_at = now
+
+    def remove_expired(self, now: float) -> None:
+        """Remove uploads without a packet for too long."""
+        limit = now - self.settings.upload_idle_s
+        for flow_key, upload in list(self.uploads.items()):
+            if upload.last_packet_at <= limit:
+                del self.uploads[flow_key]
+
+    def _is_waiting_copy(
+        self, upload: Upload, header: PacketHeader, now: float
+    ) -> bool:
+        if self.queue_s(now) <= self.settings.short_queue_s:
+            return False
+        return upload.departures.get(header.sequence_number, -math.inf) > now
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/link_admission.py
@@ -0,0 +1,352 @@
+"""Admission of uploads to the network link of an entry VM."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+from typing import NamedTuple
+
+from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import VmId
+from kumquatmux_tokens.bulk_routes import BulkRoutes
+from kumquatmux_tokens.link_account import LinkAccount, Upload
+from kumquatmux_tokens.link_occupancy import LinkOccupancy, ZoneOccupancy
+from kumquatmux_tokens.load import LoadTracker
+from kumquatmux_tokens.packets import Decision, Drop, HoldForLink, PacketHeader, Reset
+from kumquatmux_tokens.placers import CoordinatorSelector
+from kumquatmux_tokens.recent import RecentPlacements
+from kumquatmux_tokens.routes import Route
+from kumquatmux_tokens.sequences import SEQUENCE_SPACE, is_near
+from kumquatmux_tokens.settings import TokenRouterSettings
+from kumquatmux_tokens.upload_queue import RefusedCallers, UploadQueue, WaitingUpload
+from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer
+
+SYN_RESET_SEQUENCE_NUMBER = 0
+MILLISECONDS_PER_S = 1000
+
+
+class Estimate(NamedTuple):
+    """When an upload would start and finish, in seconds from now."""
+
+    start_s: float
+    finish_s: float
+
+
+class LinkAdmission:
+    """Decides which uploads may use the link, and in which order.
+
+    Attributes:
+        is_enabled: Whether the link's capacity is known.
+        is_active: Whether there are routes of bulk data besides.
+        account: The link's queue and the uploads under way.
+        bulk: Routes of bulk data.
+        queue: SYN packets that wait for the link.
+        refused: Callers that were refused.
+        zone: Queues of the other VMs of the zone.
+    """
+
+    def __init__(
+        self,
+        settings: TokenRouterSettings,
+        random: Random,
+        load_tracker: LoadTracker,
+        syn_buffer: SynBuffer,
+        coordinators: CoordinatorSelector,
+        recent: RecentPlacements,
+        now: float,
+    ) -> None:
+        self.settings = settings.link
+        self.router_settings = settings
+        self.load_tracker = load_tracker
+        self.syn_buffer = syn_buffer
+        self.coordinators = coordinators
+        self.recent = recent
+        self.is_enabled = settings.link.bytes_per_s > 0
+        self.is_active = False
+        self.account = LinkAccount(settings.link, now)
+        self.bulk = BulkRoutes(settings.link)
+        self.queue = UploadQueue(settings.link)
+        self.refused = RefusedCallers(settings.link)
+        self.zone = ZoneOccupancy(settings.link, random)
+
+    @property
+    def can_admit(self) -> bool:
+        """Whether a claim has ended for which a SYN packet waits."""
+        return self.account.has_ended_claim and bool(self.queue.by_flow)
+
+    def install_routes(self, routes: dict[bytes, Route]) -> None:
+        """Take over the routes of a new document."""
+        if self.is_enabled:
+            self.bulk.install(routes)
+            self._note_bulk_routes()
+
+    def record_packet(
+        self, header: PacketHeader, size: int, now: float
+    ) -> Decision | None:
+        """Record a packet that was received from a caller.
+
+        Args:
+            header: Its header fields.
+            size: Its bytes.
+            now: Current time in monotonic seconds.
+
+        Returns:
+            The decision for a packet that should not be forwarded, otherwise None.
+        """
+        if header.is_fin_or_rst:
+            self._learn(header, now)
+        if not self.is_active:
+            return None
+        self.account.record_received(size, now)
+        if header.is_syn or header.route_address not in self.bulk.by_address:
+            return None
+        return self._record_bulk_packet(header, now)
+
+    def route_syn(self, header: PacketHeader, now: float) -> Decision | None:
+        """Return the decision for a SYN packet that can't be placed yet, or None."""
+        route = self.bulk.by_address.get(header.route_address)
+        if route is None:
+            return None
+        if header.flow_key in self.queue.by_flow:
+            return HoldForLink()
+        if self._is_admitted(header, now):
+            return None
+        is_copy = header.retransmission_count > 0
+        if is_copy and self.refused.includes_flow(header.flow_key, now):
+            return Drop("copy-refused")
+        waiting = self._waiting_upload(header, route, now)
+        has_room = self.account.has_room(waiting.expected_bytes, now)
+        if self._is_placed(header, now) or (has_room and not self.queue.by_flow):
+            self._start(header, waiting.expected_bytes, now)
+            return None
+        return self._hold_or_refuse(header, route, waiting, now)
+
+    def pop_admitted(self, now: float) -> list[BufferedPacket]:
+        """Remove and return the SYN packets whose uploads may start now."""
+        self.account.has_ended_claim = False
+        admitted: list[BufferedPacket] = []
+        self.queue.remove_expired(now)
+        while (waiting := self.queue.first()) is not None:
+            packet = self.syn_buffer.unexpired_packet(waiting.flow_key, now)
+            if packet is None:
+                self.queue.remove(waiting.flow_key)
+                continue
+            if not self.account.has_room(waiting.expected_bytes, now):
+                break
+            self.queue.pop(waiting)
+            self._start(packet.header, waiting.expected_bytes, now)
+            admitted.append(packet)
+            log_decision(
+                "upload-admitted",
+                flow=waiting.flow_key.hex(),
+                waited_s=round(now - waiting.arrived_at, 3),
+                waiting=len(self.queue.by_flow),
+            )
+        return admitted
+
+    def due_at(self, now: float) -> float:
+        """Return when an admission or a report to other VMs is due next."""
+        due_at = self.report_due_at()
+        if self.queue.by_flow:
+            due_at = min(due_at, self.account.room_at(now))
+        return due_at
+
+    def report_due_at(self) -> float:
+        """Return when a report to other VMs is due, infinity if none is."""
+        if not self.coordinators.has_other_vms:
+            return math.inf
+        return self.zone.due_at(bool(self.queue.by_flow))
+
+    def due_reports(self, now: float) -> list[tuple[VmId, LinkOccupancy]]:
+        """Return the report to other VMs that is due, with each receiver."""
+        self.queue.remove_expired(now)
+        self.zone.note_report(bool(self.queue.by_flow), now)
+        report = LinkOccupancy(
+            self.router_settings.vm,
+            len(self.queue.by_flow),
+            round(self._wait_of_another_s(now) * MILLISECONDS_PER_S),
+        )
+        return [(vm, report) for vm in self.zone.receivers(self._other_vms())]
+
+    def explains(self, silence_s: float, now: float) -> bool:
+        """Return whether the link's queue explains that an answer has not come."""
+        return self.is_active and self.account.explains(silence_s, now)
+
+    def remove_expired(self, now: float) -> None:
+        """Remove what is out of date, and measure the rate of other traffic."""
+        if not self.is_enabled:
+            return
+        self.account.remove_expired(now)
+        self.account.measure_rate(now)
+        self.queue.remove_expired(now)
+        self.refused.remove_expired(now)
+        self.zone.remove_expired(now)
+
+    def _record_bulk_packet(self, header: PacketHeader, now: float) -> Decision | None:
+        """Record a packet of a bulk route that is no SYN."""
+        upload = self.account.uploads.get(header.flow_key)
+        if upload is None or not is_near(
+            upload.next_sequence_number, header.sequence_number
+        ):
+            if not header.payload_length or header.is_fin_or_rst:
+                return None
+            upload = self._start_unknown(header, now)
+        upload.last_packet_at = now
+        if header.is_fin_or_rst:
+            self.account.end_upload(upload)
+            return None
+        if not header.payload_length:
+            return None
+        if not self.account.record_data(upload, header, now):
+            return None
+        self.account.withdraw(header.payload_length)
+        return Drop("copy-queued")
+
+    def _start(self, header: PacketHeader, expected_bytes: float, now: float) -> Upload:
+        """Start the claim of the upload that a SYN packet opens."""
+        first_sequence_number = (header.sequence_number + 1) % SEQUENCE_SPACE
+        return self.account.start_upload(
+            header.flow_key, expected_bytes, first_sequence_number, now
+        )
+
+    def _start_unknown(self, header: PacketHeader, now: float) -> Upload:
+        """Start the claim of an upload that goes on here, by one of its packets."""
+        self.queue.remove(header.flow_key)
+        flow = self.load_tracker.flow_of_packet(header)
+        upload = self.account.start_upload(
+            header.flow_key,
+            self.bulk.expected_bytes(header.route_address),
+            flow.first_sequence_number if flow else header.sequence_number,
+            now,
+        )
+        upload.next_sequence_number = header.sequence_number
+        return upload
+
+    def _is_admitted(self, header: PacketHeader, now: float) -> bool:
+        """Return whether a SYN packet's upload has a claim, which lasts on if so."""
+        upload = self.account.uploads.get(header.flow_key)
+        first_sequence_number = (header.sequence_number + 1) % SEQUENCE_SPACE
+        if upload is None or upload.first_sequence_number != first_sequence_number:
+            return False
+        upload.last_packet_at = now
+        return True
+
+    def _is_placed(self, header: PacketHeader, now: float) -> bool:
+        """Return whether a flow has a server already, or one is being selected."""
+        if self.load_tracker.flow_of_syn(header) is not None:
+            return True
+        if header.flow_key in self.coordinators.pending_requests:
+            return True
+        token = self.recent.token_of(header.flow_key, now, header.sequence_number)
+        return token != 0
+
+    def _waiting_upload(
+        self, header: PacketHeader, route: Route, now: float
+    ) -> WaitingUpload:
+        return WaitingUpload(
+            header.flow_key,
+            self.bulk.expected_bytes(header.route_address),
+            self.refused.includes(header.flow_key, now),
+            route.priority,
+            0,
+            now,
+            self.syn_buffer.given_up_at(header, now),
+        )
+
+    def _hold_or_refuse(
+        self, header: PacketHeader, route: Route, waiting: WaitingUpload, now: float
+    ) -> Decision:
+        """Return the decision for a SYN packet that the link has no room for now."""
+        self.queue.remove_expired(now)
+        estimate = self._estimate(waiting, now)
+        is_carried = self._is_in_time(waiting, route, estimate, now)
+        if self.queue.is_full or not is_carried:
+            if not header.retransmission_count and self._have_others_room(
+                waiting, route, now
+            ):
+                return self._refuse(waiting, estimate, now)
+        if self.queue.is_full:
+            return Drop("link-full")
+        self.queue.add(waiting)
+        log_decision(
+            "upload-waits",
+            flow=header.flow_key.hex(),
+            copy=header.retransmission_count,
+            wait_s=round(estimate.start_s, 3),
+            in_time=is_carried,
+            waiting=len(self.queue.by_flow),
+        )
+        return HoldForLink()
+
+    def _refuse(
+        self, waiting: WaitingUpload, estimate: Estimate, now: float
+    ) -> Decision:
+        self.refused.record(waiting.flow_key, now)
+        log_decision(
+            "upload-refused",
+            flow=waiting.flow_key.hex(),
+            wait_s=round(estimate.start_s, 3),
+            waiting=len(self.queue.by_flow),
+        )
+        return Reset(SYN_RESET_SEQUENCE_NUMBER, "link-full")
+
+    def _estimate(self, waiting: WaitingUpload, now: float) -> Estimate:
+        """Return when an upload would start and finish, if it waited."""
+        account = self.account
+        live = account.live_uploads(now)
+        before = sum(map(account.remaining_bytes, live))
+        before += self.queue.bytes_before(waiting)
+        window = min(waiting.expected_bytes, self.settings.window_bytes)
+        # Uploads may overlap as far as their windows pass the link in time.
+        overlap = self.settings.window_pass_s / account.carry_s(1.0) - window
+        ahead = max(before - max(overlap, 0.0), 0.0)
+        queue_s = account.queue_s(now)
+        return Estimate(
+            queue_s + account.upload_s(ahead),
+            queue_s + account.upload_s(before + waiting.expected_bytes),
+        )
+
+    def _is_in_time(
+        self, waiting: WaitingUpload, route: Route, estimate: Estimate, now: float
+    ) -> bool:
+        """Return whether an upload is carried while its caller waits for that."""
+        timeout_s = self.router_settings.caller_syn_timeout_s
+        waited_s = now + timeout_s - waiting.expires_at
+        latest_start_s = timeout_s - self.settings.opening_reserve_s
+        starts_in_time = waited_s + estimate.start_s <= latest_start_s
+        return starts_in_time and waited_s + estimate.finish_s <= route.target_latency_s
+
+    def _have_others_room(
+        self, waiting: WaitingUpload, route: Route, now: float
+    ) -> bool:
+        """Return whether a refused caller is likely to be carried by another VM."""
+        upload_s = self.account.upload_s(waiting.expected_bytes)
+        timeout_s = self.router_settings.caller_syn_timeout_s
+        longest_wait_s = min(
+            route.target_latency_s - upload_s,
+            timeout_s - self.settings.opening_reserve_s,
+        )
+        share = self.zone.room_share(self._other_vms(), max(longest_wait_s, 0.0), now)
+        return share > 0 and share >= self.settings.room_share
+
+    def _wait_of_another_s(self, now: float) -> float:
+        """Return the seconds that one more upload would wait here."""
+        if not self.queue.by_flow:
+            return 0.0
+        longest = max(self.queue.by_flow.values(), key=lambda one: one.priority)
+        another = longest._replace(was_refused=False)
+        return self._estimate(another, now).start_s
+
+    def _learn(self, header: PacketHeader, now: float) -> None:
+        """Learn what the flows of a route send from one that its caller closes."""
+        flow = self.load_tracker.flow_of_packet(header)
+        if flow is not None:
+            self.bulk.record_end(flow, header, now)
+            self._note_bulk_routes()
+
+    def _note_bulk_routes(self) -> None:
+        self.is_active = bool(self.bulk.by_address)
+
+    def _other_vms(self) -> list[VmId]:
+        own_vm = self.router_settings.vm
+        return [vm for vm in self.coordinators.entry_vms if vm != own_vm]
--- a/libs/tokens/src/kumquatmux_tokens/messages.py
+++ b/libs/tokens/src/kumquatmux_tokens/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from kumquatmux_tokens.link_occupancy import LinkOccupancy
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.questions import (
     FlowAnswer,
@@ -19,5 +20,6 @@
     0x060A: FlowAnswer,
     0x060B: FlowOpened,
     0x060C: FlowNewsQuestion,
+    0x060D: LinkOccupancy,
 }
 """Message types by message kind, for the codec registry of a channel."""
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -99,6 +99,10 @@
     reason: str
 
 
+class HoldForLink(NamedTuple):
+    """Decision to buffer a SYN packet until this VM's link can carry its upload."""
+
+
 class Drop(NamedTuple):
     """Decision to discard the packet.
 
@@ -139,6 +143,7 @@
     | Reset
     | HoldForToken
     | HoldForServer
+    | HoldForLink
     | RequestPlacement
     | AskZone
     | Drop
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from kumquatmux_core import rendezvous
@@ -90,6 +91,8 @@
         rankings: Entry VMs in order of preference, by service.
         backoffs: Backoff from each VM that left placement requests unanswered.
         pending_requests: Unanswered placement requests by flow key.
+        is_explained: Tells whether the queue of this VM's link explains that an answer
+            has not come for some seconds.
     """
 
     def __init__(self, settings: TokenRouterSettings) -> None:
@@ -99,6 +102,7 @@
         self.rankings: dict[ServiceName, list[VmId]] = {}
         self.backoffs: dict[VmId, Backoff] = {}
         self.pending_requests: dict[bytes, PendingRequest] = {}
+        self.is_explained: Callable[[float, float], bool] = _is_never_explained
 
     def set_entry_vms(self, entry_vms: tuple[VmId, ...]) -> None:
         """Set the entry VMs of the zone."""
@@ -127,15 +131,17 @@
         """Return whether an answer to a flow's placement request may still come.
 
         A request that has timed out is removed, and the VM that was asked is avoided
-        for a while.
+        for a while, unless the queue of this VM's link explains its silence.
         """
         request = self.pending_requests.get(flow_key)
         if request is None:
             return False
-        if now - request.sent_at < self.settings.placement_timeout_s:
+        timeout_s = self.settings.placement_timeout_s
+        if now - request.sent_at < timeout_s:
             return True
         del self.pending_requests[flow_key]
-        self._start_backoff(request, now)
+        if not self.is_explained(timeout_s, now):
+            self._start_backoff(request, now)
         return False
 
     def record_answer(self, vm: VmId, flow_key: bytes) -> None:
@@ -168,3 +174,8 @@
             ranked_names = rendezvous.rank(service.encode(), self.entry_vms)
             ranking = self.rankings[service] = [VmId(name) for name in ranked_names]
         return ranking
+
+
+def _is_never_explained(silence_s: float, now: float) -> bool:
+    """Return whether an answer is late for a reason of this VM: none is known of."""
+    return False
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -11,6 +11,7 @@
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.flow import Flow
 from kumquatmux_tokens.gone import GoneServers
+from kumquatmux_tokens.link_admission import LinkAdmission
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.load_reporter import LoadReporter
 from kumquatmux_tokens.lost_flows import LostFlows
@@ -58,6 +59,7 @@
         load_reporter: Reports this VM's load to the other VMs of the zone.
         selector: Selects the servers of new flows.
         syn_router: Decides what to do with each SYN packet.
+        link: Admission of uploads to this VM's link.
         lost_holders: Control VMs of the zones that nothing has been heard of for long
             enough that a live server would report to another one by now.
         probes: Probes of the servers whose flows may be lost.
@@ -106,6 +108,16 @@
             self.load_reporter,
             now,
         )
+        self.link = LinkAdmission(
+            settings,
+            random,
+            self.load_tracker,
+            self.syn_buffer,
+            self.coordinators,
+            self.recent,
+            now,
+        )
+        self.coordinators.is_explained = self.link.explains
         self.lost_holders: frozenset[VmId] = frozenset()
         self.is_known_late: Callable[[ServerRecord, float], bool] = _is_called_late
         self.listening_since = now
@@ -116,6 +128,10 @@
             return self._route_by_token(header, now)
         if self.backlog.is_unread(now):
             return Drop("opening-outdated")
+        if self.link.is_active:
+            held = self.link.route_syn(header, now)
+            if held is not None:
+                return held
         return self.syn_router.route(header, now)
 
     def note_pause(self, now: float, gap_s: float) -> None:
@@ -126,7 +142,10 @@
 
     def install_routes(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        return self.route_table.install(routes, now)
+        is_newer = self.route_table.install(routes, now)
+        if is_newer:
+            self.link.install_routes(self.route_table.routes)
+        return is_newer
 
     def store_record(self, record: ServerRecord, now: float) -> list[BufferedPacket]:
         """Store a server's record; return the packets buffered for its token."""
@@ -218,6 +237,7 @@
         self.recent.remove_expired(now)
         self.lost_flows.remove_expired(now)
         self.coordinators.remove_expired(now)
+        self.link.remove_expired(now)
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -7,6 +7,62 @@
 from kumquatmux_core.identity import VmId, ZoneName
 
 
+class LinkSettings(NamedTuple):
+    """Settings of admission control for the network link of one entry VM.
+
+    Attributes:
+        bytes_per_s: Bytes a second that the link carries, 0 if that is not known.
+        window_bytes: Bytes of data that a caller keeps in flight.
+        window_pass_s: Seconds within which the windows of all uploads under way pass
+            the link; less than the timeout after which callers retransmit data.
+        upload_idle_s: Seconds without a packet after which an upload is taken to have
+            ended.
+        default_upload_bytes: Expected size of an upload of a route that none has
+            finished on yet.
+        bulk_bytes: Mean bytes that the flows of a route send in their first second from
+            which the route counts as one of bulk data.
+        size_smoothing: Weight of one flow in the moving averages of a route.
+        queue_limit: Limit of SYN packets that wait for the link.
+        opening_reserve_s: Seconds of a caller's wait that are kept for the placement
+            and the answer of the server.
+        arrival_admission_interval: Number of admissions of which one goes to the SYN
+            that has waited longest, whatever its priority.
+        refusal_memory_s: Seconds for which a refused caller is remembered.
+        refusal_limit: Limit of refused callers that are remembered.
+        room_share: Share of the zone's other VMs that must have room for a caller to be
+            refused; its next attempt passes any one of them.
+        occupancy_interval_s: Least seconds between reports of the queue to other VMs.
+        occupancy_validity_s: Seconds for which such a report counts.
+        occupancy_vms: Limit of VMs that a report goes to.
+        short_queue_s: Length of the link's queue in seconds below which a copy of data
+            is forwarded in any case.
+        departures_limit: Limit of packets of an upload whose departure is remembered.
+        rate_smoothing: Weight of one interval in the average rate of other traffic.
+        least_upload_share: Share of the link that uploads are taken to get at least.
+    """
+
+    bytes_per_s: float = 0.0
+    window_bytes: int = 19_200
+    window_pass_s: float = 0.15
+    upload_idle_s: float = 0.7
+    default_upload_bytes: float = 38_400.0
+    bulk_bytes: float = 9_600.0
+    size_smoothing: float = 0.1
+    queue_limit: int = 64
+    opening_reserve_s: float = 0.1
+    arrival_admission_interval: int = 4
+    refusal_memory_s: float = 5.0
+    refusal_limit: int = 1024
+    room_share: float = 0.5
+    occupancy_interval_s: float = 1.0
+    occupancy_validity_s: float = 3.0
+    occupancy_vms: int = 64
+    short_queue_s: float = 0.02
+    departures_limit: int = 32
+    rate_smoothing: float = 0.3
+    least_upload_share: float = 0.2
+
+
 class TokenRouterSettings(NamedTuple):
     """Settings of the token router of one entry VM.
 
@@ -109,6 +165,7 @@
             share.
         many_requests_active_cost: Cost of a request in progress when the new flow is
             expected to carry many requests; the cost is 1 for other flows.
+        link: Settings of admission control for this VM's link.
     """
 
     vm: VmId
@@ -164,6 +221,7 @@
     follow_up_share_threshold: float = 0.5
     follow_up_share_smoothing: float = 0.05
     many_requests_active_cost: float = 0.25
+    link: LinkSettings = LinkSettings()
 
     def report_interval_s(self, vms: int) -> float:
         """Return the seconds between reports of changed load in a zone of some VMs."""
--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -8,6 +8,7 @@
 from kumquatmux_core.identity import ServiceName
 from kumquatmux_tokens.choice import NewFlow
 from kumquatmux_tokens.directory import ServerEntry
+from kumquatmux_tokens.flow import Flow
 from kumquatmux_tokens.load_reporter import LoadReporter
 from kumquatmux_tokens.packets import (
     Decision,
@@ -70,10 +71,7 @@
         flow = self.load_tracker.flow_of_syn(header)
         if flow is not None and flow.is_established:
             return Drop("flow-open")
-        is_too_soon = (
-            flow is not None
-            and now - flow.syn_forwarded_at < self.settings.min_retransmission_gap_s
-        )
+        is_too_soon = flow is not None and self._is_too_soon(flow, now)
         if flow is not None and header.retransmission_count and not is_too_soon:
             copy = header.retransmission_count
             if self.load_tracker.record_unanswered_syn(flow, copy, now):
@@ -179,6 +177,15 @@
         )
         return Forward(selection.entry.record, token)
 
+    def _is_too_soon(self, flow: Flow, now: float) -> bool:
+        """Return whether a copy of a SYN is no evidence against the flow's server.
+
+        The SYN before it may still wait for this VM's link, or was late here.
+        """
+        since_s = now - flow.syn_forwarded_at
+        is_late_here = since_s < self.settings.min_retransmission_gap_s
+        return is_late_here or self.coordinators.is_explained(since_s, now)
+
     def _is_placement_paused(self, service: ServiceName, now: float) -> bool:
         """Return whether to send no placement request because all servers were full.
 
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -90,17 +90,18 @@
         buffered = self.by_flow.get(header.flow_key)
         if buffered is None and len(self.by_flow) >= settings.syn_buffer_limit:
             return False
+        expires_at = buffered.expires_at if buffered else self.given_up_at(header, now)
+        self.by_flow[header.flow_key] = BufferedPacket(header, data, expires_at)
+        return True
+
+    def given_up_at(self, header: PacketHeader, now: float) -> float:
+        """Return when the caller of a SYN packet that has just come gives up."""
+        settings = self.settings
         offset_index = min(
             header.retransmission_count, len(settings.syn_transmission_offsets_s) - 1
         )
         first_sent_at = now - settings.syn_transmission_offsets_s[offset_index]
-        expires_at = (
-            buffered.expires_at
-            if buffered
-            else first_sent_at + settings.caller_syn_timeout_s
-        )
-        self.by_flow[header.flow_key] = BufferedPacket(header, data, expires_at)
-        return True
+        return first_sent_at + settings.caller_syn_timeout_s
 
     def unexpired_packet(self, flow_key: bytes, now: float) -> BufferedPacket | None:
         """Return the SYN packet of a flow if its caller still waits."""
