Judge room on the link and the time of its next check by the same terms

A check for room compared queue and claims with the limits in other terms than the planning of the next check, so that rounding let a tick find no room at the time planned for it and be due again at once: a modelled run hung for 600 s. Both use the same terms now.

test_link_account.py finds the case on the code before (fails) and passes on this one, 10 passed.

--- a/libs/tokens/src/kumquatmux_tokens/link_account.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_account.py
@@ -206,18 +206,18 @@
 
     def live_uploads(self, now: float) -> list[Upload]:
         """Return the uploads that are still expected to send data."""
-        limit = now - self.settings.upload_idle_s
+        idle_s = self.settings.upload_idle_s
         return [
             upload
             for upload in self.uploads.values()
-            if upload.last_packet_at > limit
+            if upload.last_packet_at + idle_s > now
             and not (upload.is_ended or upload.is_tail_seen)
         ]
 
     def has_room(self, expected_bytes: float, now: float) -> bool:
         """Return whether an upload can start now."""
         pass_s = self.settings.window_pass_s
-        if self.queue_s(now) > pass_s:
+        if self.busy_until - pass_s > now:
             return False
         live = self.live_uploads(now)
         if not live:
@@ -226,7 +226,11 @@
         return self.carry_s(window + sum(map(self.in_flight, live))) <= pass_s
 
     def room_at(self, now: float) -> float:
-        """Return when an upload may start, if no packet comes until then."""
+        """Return when an upload may start, if no packet comes until then.
+
+        The terms are those of ``has_room``, so that rounding makes no difference: a
+        tick that finds no room would be due again at once.
+        """
         drained_at = self.busy_until - self.settings.window_pass_s
         live = self.live_uploads(now)
         idle_s = self.settings.upload_idle_s
--- /dev/null
+++ b/libs/tokens/tests/test_link_account.py
@@ -0,0 +1,152 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatmux_tokens.link_account import (
+    LINK_BYTES_PER_RECEIVED_BYTE,
+    RECEIVED_BYTES_PER_DATA_BYTE,
+    LinkAccount,
+)
+from kumquatmux_tokens.packets import PacketHeader
+from kumquatmux_tokens.settings import LinkSettings
+
+SETTINGS = LinkSettings(bytes_per_s=250_000.0)
+PACKET_BYTES = 1236
+FLOW = b"f" * 12
+
+
+def make_data(sequence, length=1200):
+    return PacketHeader(FLOW, b"r" * 6, 5, False, False, 0, sequence, 500, length)
+
+
+def start_upload(account, now, expected_bytes=40_000.0):
+    return account.start_upload(FLOW, expected_bytes, 101, now)
+
+
+def test_the_queue_drains_at_the_links_rate():
+    account = LinkAccount(SETTINGS, 0.0)
+    for _ in range(10):
+        account.record_received(PACKET_BYTES, 5.0)
+    # The first one was carried in before it was read.
+    carried = PACKET_BYTES * (10 * LINK_BYTES_PER_RECEIVED_BYTE - 1)
+    assert account.queue_s(5.0) == pytest.approx(carried / 250_000)
+    assert account.queue_s(5.05) == pytest.approx(carried / 250_000 - 0.05)
+    assert account.queue_s(9.0) == 0.0
+
+
+# Guards against: two windows in flight that pass no sooner than callers retransmit.
+def test_one_upload_at_a_time_fits_a_slow_link_and_two_a_faster_one():
+    for rate, fitting in ((100_000.0, 1), (250_000.0, 1), (625_000.0, 2)):
+        account = LinkAccount(SETTINGS._replace(bytes_per_s=rate), 0.0)
+        count = 0
+        while account.has_room(40_000.0, 1.0):
+            account.start_upload(bytes([count]) * 12, 40_000.0, 101, 1.0)
+            count += 1
+        assert count == fitting
+
+
+def test_a_claim_ends_with_the_last_packet_the_close_or_silence():
+    account = LinkAccount(SETTINGS, 0.0)
+    upload = start_upload(account, 1.0)
+    assert not account.has_room(40_000.0, 1.6)
+    assert account.has_room(40_000.0, 1.7)
+    upload.last_packet_at = 2.0
+    account.record_data(upload, make_data(101), 2.0)
+    assert account.remaining_bytes(upload) == 38_800
+    account.record_data(upload, make_data(1301, 700), 2.0)
+    assert account.remaining_bytes(upload) == 0
+    account.record_data(upload, make_data(2001), 2.0)
+    assert not account.has_room(40_000.0, 2.0)
+    account.end_upload(upload)
+    assert account.has_room(40_000.0, 2.0)
+
+
+# Guards against: an upload of twice the mean that counts as done halfway.
+def test_an_upload_beyond_the_mean_keeps_a_claim_until_its_last_packet():
+    account = LinkAccount(SETTINGS, 0.0)
+    upload = start_upload(account, 1.0, expected_bytes=2_400.0)
+    for number in range(6):
+        account.record_data(upload, make_data(101 + 1200 * number), 1.0)
+    assert account.remaining_bytes(upload) == SETTINGS.window_bytes / 2
+
+
+def record_packet(account, upload, header, now):
+    account.record_received(header.payload_length + 36, now)
+    return account.record_data(upload, header, now)
+
+
+# Guards against: copies of data that is merely late, which make all data later.
+def test_a_copy_of_data_that_still_waits_to_go_out_is_not_forwarded():
+    account = LinkAccount(SETTINGS, 0.0)
+    upload = start_upload(account, 1.0)
+    for number in range(16):
+        assert not record_packet(account, upload, make_data(101 + 1200 * number), 1.0)
+    late = make_data(101 + 1200 * 15)
+    queue_s = account.queue_s(1.1)
+    assert record_packet(account, upload, late, 1.1)
+    account.withdraw(1200)
+    grown_s = account.queue_s(1.1) - queue_s
+    assert grown_s == pytest.approx(PACKET_BYTES / 250_000, rel=0.05)
+    # The first packet left long ago: if its answer is missing, it may be lost.
+    assert not record_packet(account, upload, make_data(101), 1.1)
+
+
+def test_a_copy_is_forwarded_while_the_queue_is_short():
+    account = LinkAccount(SETTINGS, 0.0)
+    upload = start_upload(account, 1.0)
+    assert not record_packet(account, upload, make_data(101), 1.0)
+    assert not record_packet(account, upload, make_data(101), 1.001)
+
+
+def test_the_queue_explains_a_silence_that_is_shorter_than_it():
+    account = LinkAccount(SETTINGS, 0.0)
+    assert not account.explains(0.03, 1.0)
+    for _ in range(10):
+        account.record_received(PACKET_BYTES, 1.0)
+    assert account.explains(0.03, 1.0)
+    assert not account.explains(0.2, 1.0)
+    # It was that long while the answer was due, though it has drained since.
+    assert account.explains(0.09, 1.09)
+    assert not account.explains(0.03, 2.0)
+
+
+def test_data_in_flight_explains_a_silence_too():
+    account = LinkAccount(SETTINGS, 0.0)
+    start_upload(account, 1.0)
+    in_flight_s = SETTINGS.window_bytes * RECEIVED_BYTES_PER_DATA_BYTE / 250_000
+    assert account.explains(in_flight_s - 0.01, 1.0)
+    assert not account.explains(in_flight_s + 0.01, 1.0)
+
+
+def test_other_traffic_makes_uploads_take_longer():
+    account = LinkAccount(SETTINGS, 0.0)
+    alone_s = account.upload_s(40_000.0)
+    for second in range(1, 30):
+        account.record_received(62_500, second)
+        account.measure_rate(second)
+    half = 1 - LINK_BYTES_PER_RECEIVED_BYTE / 4
+    assert account.upload_s(40_000.0) == pytest.approx(alone_s / half, rel=0.01)
+    assert account.use == pytest.approx(0.5, rel=0.01)
+
+
+# Guards against: a tick that finds no room at the time for which it was planned, and is
+# due again at once, for ever.
+@given(
+    st.lists(st.floats(0.0, 2.0), min_size=1, max_size=3),
+    st.floats(0.0, 100_000.0),
+    st.floats(2.0, 2.5),
+)
+def test_there_is_room_or_a_claim_less_when_an_admission_is_due(starts, size, now):
+    account = LinkAccount(SETTINGS, 0.0)
+    for number, start in enumerate(sorted(starts)):
+        account.start_upload(bytes([number]) * 12, 40_000.0, 101, start)
+    account.record_received(size, 2.0)
+    for _ in range(len(starts) + 1):
+        if account.has_room(40_000.0, now):
+            return
+        due_at = account.room_at(now)
+        assert due_at >= now
+        now = due_at
+    assert account.has_room(40_000.0, now)
