--- a/libs/tokens/src/kumquatmux_tokens/link_admission.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_admission.py
@@ -126,7 +126,7 @@
         self.account.has_ended_claim = False
         admitted: list[BufferedPacket] = []
         self.queue.remove_expired(now)
-        while (waiting := self.queue.first()) is not None:
+        while (waiting := self.queue.first(now)) is not None:
             packet = self.syn_buffer.unexpired_packet(waiting.flow_key, now)
             if packet is None:
                 self.queue.remove(waiting.flow_key)
@@ -243,14 +243,19 @@
     def _waiting_upload(
         self, header: PacketHeader, route: Route, now: float
     ) -> WaitingUpload:
+        expected_bytes = self.bulk.expected_bytes(header.route_address)
+        given_up_at = self.syn_buffer.given_up_at(header, now)
+        sent_at = given_up_at - self.router_settings.caller_syn_timeout_s
+        longest_wait_s = route.target_latency_s - self.account.upload_s(expected_bytes)
         return WaitingUpload(
             header.flow_key,
-            self.bulk.expected_bytes(header.route_address),
+            expected_bytes,
             self.refused.includes(header.flow_key, now),
             route.priority,
             0,
             now,
-            self.syn_buffer.given_up_at(header, now),
+            given_up_at,
+            sent_at + longest_wait_s,
         )
 
     def _hold_or_refuse(
@@ -295,7 +300,7 @@
         account = self.account
         live = account.live_uploads(now)
         before = sum(map(account.remaining_bytes, live))
-        before += self.queue.bytes_before(waiting)
+        before += self.queue.bytes_before(waiting, now)
         window = min(waiting.expected_bytes, self.settings.window_bytes)
         # Uploads may overlap as far as their windows pass the link in time.
         overlap = self.settings.window_pass_s / account.carry_s(1.0) - window
@@ -334,7 +339,7 @@
         if not self.queue.by_flow:
             return 0.0
         longest = max(self.queue.by_flow.values(), key=lambda one: one.priority)
-        another = longest._replace(was_refused=False)
+        another = longest._replace(was_refused=False, latest_start_at=math.inf)
         return self._estimate(another, now).start_s
 
     def _learn(self, header: PacketHeader, now: float) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/upload_queue.py
+++ b/libs/tokens/src/kumquatmux_tokens/upload_queue.py
@@ -23,6 +23,8 @@
         number: Number of its arrival.
         arrived_at: Time of its arrival.
         expires_at: Time at which its caller gives up.
+        latest_start_at: Time until which its upload can start and be carried within the
+            target latency of its route.
     """
 
     flow_key: bytes
@@ -32,6 +34,7 @@
     number: int
     arrived_at: float
     expires_at: float
+    latest_start_at: float
 
 
 class UploadQueue:
@@ -63,26 +66,27 @@
         """Remove the SYN packet of a flow."""
         self.by_flow.pop(flow_key, None)
 
-    def first(self) -> WaitingUpload | None:
+    def first(self, now: float) -> WaitingUpload | None:
         """Return the SYN packet that is admitted next, None if none waits.
 
-        Regularly that is the one that has waited longest, so that no priority starves.
+        Those that can't reach their target any more go after those that can: in order
+        of arrival alone, an overload would make every upload late. Regularly the one
+        that has waited longest is next, so that no priority starves.
         """
-        if not self.by_flow:
-            return None
-        if self.admissions % self.settings.arrival_admission_interval == 0:
-            return next(iter(self.by_flow.values()))
-        return min(self.by_flow.values(), key=_rank)
+        interval = self.settings.arrival_admission_interval
+        is_by_arrival = self.admissions % interval == interval - 1
+        rank = _arrival_rank if is_by_arrival else _rank
+        return min(self.by_flow.values(), key=lambda one: rank(one, now), default=None)
 
     def pop(self, waiting: WaitingUpload) -> None:
         """Remove a SYN packet that is admitted."""
         self.remove(waiting.flow_key)
         self.admissions += 1
 
-    def bytes_before(self, waiting: WaitingUpload) -> float:
+    def bytes_before(self, waiting: WaitingUpload, now: float) -> float:
         """Return the bytes of data expected of those that go before another one."""
-        rank = _rank(waiting._replace(number=self.arrivals + 1))
-        before = (one for one in self.by_flow.values() if _rank(one) < rank)
+        rank = _rank(waiting._replace(number=self.arrivals + 1), now)
+        before = (one for one in self.by_flow.values() if _rank(one, now) < rank)
         return sum(one.expected_bytes for one in before)
 
     def remove_expired(self, now: float) -> None:
@@ -134,5 +138,10 @@
         return refused_at > now - self.settings.refusal_memory_s
 
 
-def _rank(waiting: WaitingUpload) -> tuple[bool, int, int]:
-    return (not waiting.was_refused, waiting.priority, waiting.number)
+def _rank(waiting: WaitingUpload, now: float) -> tuple[bool, bool, int, int]:
+    is_late = waiting.latest_start_at < now
+    return (is_late, not waiting.was_refused, waiting.priority, waiting.number)
+
+
+def _arrival_rank(waiting: WaitingUpload, now: float) -> tuple[bool, bool, int, int]:
+    return (waiting.latest_start_at < now, False, 0, waiting.number)
