Model a zone of entry VMs in the test of admission to links

One VM shows neither refusals nor reports of queues. The model has any number of VMs, each with its link, exchanges their messages over the links and lets callers try again through any VM.

--- a/libs/daemons/tests/link_day.py
+++ b/libs/daemons/tests/link_day.py
@@ -1,26 +1,30 @@
-"""Callers, servers and one link around the core of an entry VM, for tests.
+"""Callers, servers and links around the cores of the entry VMs of a zone, for tests.
 
-The link is one queue for both directions, which the core cannot see. Callers behave as
-docs/design/overload.md says: they retransmit a SYN after 0.2 and 0.6 s and give up
-after 1.4 s; they keep 16 packets in flight and retransmit all of them after 0.2 s,
-doubling to 1.6 s. Answers go from the servers to the callers directly.
+The link of a VM is one queue for both directions, which the core cannot see. Callers
+behave as docs/design/overload.md says: they retransmit a SYN after 0.2 and 0.6 s and
+give up after 1.4 s; they keep 16 packets in flight and retransmit all of them after
+0.2 s, doubling to 1.6 s. A caller whose flow did not open may try again by way of any
+VM. Answers go from the servers to the callers directly.
 """
 
 from __future__ import annotations
 
 import heapq
 import itertools
+import math
 import struct
 from random import Random
 
 from expression import Ok
 
+from kumquatmux_core.codec import registry
 from kumquatmux_core.identity import Address, Endpoint
 from kumquatmux_daemons.token_entry.core import EntryCore
 from kumquatmux_daemons.token_entry.effects import Datagram, Sent
 from kumquatmux_daemons.token_entry.settings import EntrySettings, VmLimits
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
+from kumquatmux_tokens.messages import MESSAGE_TYPES
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 
@@ -34,6 +38,7 @@
 PAYLOAD_BYTES = 1200
 WINDOW_PACKETS = 16
 SYN, DATA, ACK, FIN, RST = range(5)
+MESSAGES = registry(MESSAGE_TYPES)
 LAYOUT = struct.Struct("!BB6s6sIIII")
 FIRST_SEQUENCE = 1000
 
@@ -77,9 +82,14 @@
         return Ok(RouteSet(1, (uploads, feeds), frozenset({"servers"}), 15.0))
 
 
-def make_core(link_bytes_per_s, entries=("e1",), servers=5):
+def make_zone(link_bytes_per_s, vms=1, servers=5):
+    names = tuple(f"e{number}" for number in range(1, vms + 1))
+    return [make_core(link_bytes_per_s, name, names, servers) for name in names]
+
+
+def make_core(link_bytes_per_s, vm, entries, servers):
     settings = EntrySettings(
-        "e1", "a", PLACE, PLACE, PLACE, PLACE, ("c1",),
+        vm, "a", PLACE, PLACE, PLACE, PLACE, ("c1",),
         limits=VmLimits(link_bytes_per_s),
     )  # fmt: skip
     core = EntryCore(settings, Format(), Random(1), 0.0)
@@ -104,11 +114,13 @@
 class Caller:
     """One flow of a caller, with what its server has of it."""
 
-    def __init__(self, number, route, size, work_s, started_at):
+    def __init__(self, number, vm, wanted, attempt, started_at):
         self.number = number
-        self.route = route
-        self.size = size
-        self.work_s = work_s
+        self.vm = vm
+        self.wanted = wanted
+        self.route = wanted.route
+        self.size = wanted.size
+        self.attempt = attempt
         self.started_at = started_at
         self.token = 0
         self.acknowledged = 0
@@ -117,7 +129,6 @@
         self.delivered = 0
         self.timeout_s = 0.2
         self.timer = 0
-        self.done_at = None
         self.ended = ""
 
     @property
@@ -125,80 +136,128 @@
         return -(-self.size // PAYLOAD_BYTES)
 
 
-class Day:
-    """A run of callers through one core and its link."""
+class Request:
+    """What a caller wants, however many flows it tries."""
+
+    def __init__(self, route, size, work_s, wanted_at):
+        self.route = route
+        self.size = size
+        self.work_s = work_s
+        self.wanted_at = wanted_at
+        self.done_at = math.inf
+
+
+class Vm:
+    """A core with its link."""
 
-    def __init__(self, core, link_bytes_per_s=LINK_BYTES_PER_S):
+    def __init__(self, core):
         self.core = core
-        self.link_bytes_per_s = link_bytes_per_s
+        self.free_at = 0.0
+        self.tick_at = 0.0
+        self.carried_bytes = 0
+
+    def carry(self, size, now):
+        """Return when the link has carried some bytes."""
+        self.carried_bytes += size
+        self.free_at = max(self.free_at, now) + size / LINK_BYTES_PER_S
+        return self.free_at
+
+
+class Day:
+    """A run of callers through the VMs of one zone."""
+
+    def __init__(self, cores, random, attempts=1):
+        self.vms = [Vm(core) for core in cores]
+        self.by_name = {vm.core.settings.vm: vm for vm in self.vms}
+        self.random = random
+        self.attempts = attempts
         self.events = []
         self.order = itertools.count()
-        self.free_at = 0.0
         self.callers = {}
-        self.carried_bytes = 0
-        self.tick_at = 0.0
-        self.sent = []
+        self.requests = []
+        for vm in self.vms:
+            self.at(0.0, self.tick, vm)
 
     def at(self, time, work, *given):
         heapq.heappush(self.events, (time, next(self.order), work, given))
 
-    def add(self, route, size, work_s, started_at):
+    def add(self, route, size, work_s, wanted_at):
+        request = Request(route, size, work_s, wanted_at)
+        self.requests.append(request)
+        self.at(wanted_at, self.start, request, 1)
+        return request
+
+    def start(self, now, request, attempt):
         number = len(self.callers) + 1
-        caller = Caller(number, route, size, work_s, started_at)
-        self.callers[number] = caller
+        vm = self.random.choice(self.vms)
+        caller = self.callers[number] = Caller(number, vm, request, attempt, now)
         for copy, offset_s in enumerate((0.0, 0.2, 0.6)):
-            self.at(started_at + offset_s, self.send_syn, caller, copy)
-        self.at(started_at + 1.4, self.give_up, caller)
-        return caller
+            self.at(now + offset_s, self.send_syn, caller, copy)
+        self.at(now + 1.4, self.end, caller, "gave up")
 
     def run(self, until):
-        while self.events or self.tick_at < until:
-            if not self.events or self.tick_at <= self.events[0][0]:
-                now = self.tick_at
-                if now >= until:
-                    return
-                self.carry_out(self.core.tick(now), now)
-            else:
-                now, _, work, given = heapq.heappop(self.events)
-                if now >= until:
-                    return
-                work(now, *given)
-            self.tick_at = max(self.core.due_at(now), now)
+        while self.events and self.events[0][0] < until:
+            now, _, work, given = heapq.heappop(self.events)
+            work(now, *given)
 
-    def carry(self, size, now):
-        """Return when the link has carried some bytes."""
-        self.carried_bytes += size
-        self.free_at = max(self.free_at, now) + size / self.link_bytes_per_s
-        return self.free_at
+    def tick(self, now, vm):
+        if now < vm.tick_at:
+            return
+        vm.tick_at = math.inf
+        self.carry_out(vm, vm.core.tick(now), now)
 
-    def carry_out(self, effects, now):
+    def carry_out(self, vm, effects, now):
         for effect in effects:
             if isinstance(effect, Datagram):
-                arrives_at = self.carry(len(effect.data), now) + WIRE_S
+                arrives_at = vm.carry(len(effect.data), now) + WIRE_S
                 self.at(arrives_at, self.arrive, effect.data)
-            elif isinstance(effect, Sent):
-                self.sent.append((now, effect))
+            elif isinstance(effect, Sent) and effect.vm in self.by_name:
+                self.send_message(vm, effect, now)
+        due_at = max(vm.core.due_at(now), now)
+        if due_at < vm.tick_at or vm.tick_at <= now:
+            vm.tick_at = due_at
+            self.at(due_at, self.tick, vm)
+
+    def send_message(self, vm, sent, now):
+        size = len(MESSAGES.encode(sent.message))
+        leaves_at = vm.carry(size, now)
+        receiver = self.by_name[sent.vm]
+        self.at(leaves_at + WIRE_S, self.receive, receiver, sent.message, size)
+
+    def receive(self, now, vm, message, size):
+        self.at(vm.carry(size, now), self.take_message, vm, message)
 
-    def to_vm(self, now, data):
-        self.at(self.carry(len(data), now + WIRE_S), self.take, data)
+    def take_message(self, now, vm, message):
+        self.carry_out(vm, vm.core.message(message.sender, message, now), now)
 
-    def take(self, now, data):
-        self.carry_out(self.core.packet(data, now), now)
+    def to_vm(self, now, vm, data):
+        self.at(now + WIRE_S, self.enter, vm, data)
+
+    def enter(self, now, vm, data):
+        self.at(vm.carry(len(data), now), self.take, vm, data)
+
+    def take(self, now, vm, data):
+        self.carry_out(vm, vm.core.packet(data, now), now)
 
     def send_syn(self, now, caller, copy):
         if not caller.token and not caller.ended:
-            self.to_vm(now, pack(SYN, caller.number, caller.route, copy=copy))
+            data = pack(SYN, caller.number, caller.route, copy=copy)
+            self.to_vm(now, caller.vm, data)
 
-    def give_up(self, now, caller):
-        if not caller.token and not caller.ended:
-            caller.ended = "gave up"
+    def end(self, now, caller, reason):
+        """End a flow that did not open, and try anew."""
+        if caller.token or caller.ended:
+            return
+        caller.ended = reason
+        if caller.attempt < self.attempts:
+            self.start(now, caller.wanted, caller.attempt + 1)
 
     def arrive(self, now, data):
         """Take a datagram at its server, or a reset at its caller."""
         kind, _, number, _, _, sequence, _, size = LAYOUT.unpack_from(data)
         caller = self.callers[int.from_bytes(number)]
         if kind == RST:
-            caller.ended = caller.ended or "reset"
+            self.end(now, caller, "reset")
         elif kind == SYN:
             token = int.from_bytes(data[-TOKEN_BYTES:])
             self.at(now + WIRE_S, self.open, caller, token)
@@ -212,13 +271,13 @@
             self.send_window(caller, now)
 
     def deliver(self, caller, sequence, size, now):
+        was_complete = caller.delivered == caller.packets
         caller.taken.add((sequence - FIRST_SEQUENCE - 1) // PAYLOAD_BYTES)
         while caller.delivered in caller.taken:
             caller.delivered += 1
         self.at(now + WIRE_S, self.acknowledge, caller, caller.delivered)
-        if caller.delivered == caller.packets and caller.done_at is None:
-            caller.done_at = now + caller.work_s + WIRE_S
-            self.at(caller.done_at, self.finish, caller)
+        if caller.delivered == caller.packets and not was_complete:
+            self.at(now + caller.wanted.work_s + WIRE_S, self.finish, caller)
 
     def acknowledge(self, now, caller, delivered):
         if delivered > caller.acknowledged:
@@ -231,6 +290,9 @@
         while caller.sent < limit:
             self.send_data(caller, caller.sent, now)
             caller.sent += 1
+        self.start_timer(caller, now)
+
+    def start_timer(self, caller, now):
         caller.timer += 1
         self.at(now + caller.timeout_s, self.resend, caller, caller.timer)
 
@@ -242,8 +304,7 @@
         for packet in range(caller.acknowledged, caller.sent):
             self.send_data(caller, packet, now)
         caller.timeout_s = min(2 * caller.timeout_s, 1.6)
-        caller.timer += 1
-        self.at(now + caller.timeout_s, self.resend, caller, caller.timer)
+        self.start_timer(caller, now)
 
     def send_data(self, caller, packet, now):
         start = packet * PAYLOAD_BYTES
@@ -252,6 +313,7 @@
         self.send(caller, DATA, now, sequence=sequence, size=size)
 
     def finish(self, now, caller):
+        caller.wanted.done_at = min(caller.wanted.done_at, now)
         sequence = FIRST_SEQUENCE + 1 + caller.size
         self.send(caller, ACK, now, sequence=sequence, ack=900)
         self.send(caller, FIN, now, sequence=sequence, ack=900)
@@ -260,15 +322,21 @@
         data = pack(
             kind, caller.number, caller.route, caller.token, 0, sequence, ack, size
         )
-        self.to_vm(now, data)
+        self.to_vm(now, caller.vm, data)
+
+    def requests_of(self, route):
+        return [one for one in self.requests if one.route == route]
 
     def done_within(self, route, seconds):
-        """Return how many callers of a route were served within some time."""
-        return sum(
-            caller.done_at is not None and caller.done_at - caller.started_at <= seconds
-            for caller in self.callers.values()
-            if caller.route == route
-        )
+        """Return how many requests of a route were served within some time."""
+        requests = self.requests_of(route)
+        return sum(one.done_at - one.wanted_at <= seconds for one in requests)
+
+    def carried_bytes(self):
+        return sum(vm.carried_bytes for vm in self.vms)
+
+    def count(self, name):
+        return sum(vm.core.counts[name] for vm in self.vms)
 
 
 def add_load(day, random, until, uploads_per_s, feeds_per_s, varied=True):
