Hold upload data on the VM while the link's queue is long

The network carries packets in the order sent, so that small flows and messages waited behind a window of upload data on its way out. Such data waits in a bounded queue on the VM now and goes out while the modelled queue is shorter than 20 ms. A copy of data that is held is dropped exactly, without a guess. While no route carries bulk data, a packet costs one check more, and the end of a flow its size.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -10,7 +10,7 @@
 from kumquatmux_core.identity import VmId
 from kumquatmux_daemons.token_entry.contact import ControlContact
 from kumquatmux_daemons.token_entry.containment import Containment
-from kumquatmux_daemons.token_entry.effects import Effect, Probe, Sent
+from kumquatmux_daemons.token_entry.effects import Datagram, Effect, Probe, Sent
 from kumquatmux_daemons.token_entry.formats import EntryFormat
 from kumquatmux_daemons.token_entry.packet_effects import PacketEffects
 from kumquatmux_daemons.token_entry.packet_routing import PacketRouting
@@ -20,6 +20,8 @@
 from kumquatmux_daemons.token_entry.waiting_syns import WaitingSyns
 from kumquatmux_registry.follower import Follower, FollowerSettings
 from kumquatmux_registry.table import ServerTable
+from kumquatmux_tokens.link_account import Upload
+from kumquatmux_tokens.link_pacer import HeldPacket, LinkPacer
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.probes import ProbeResult
 from kumquatmux_tokens.router import TokenRouter
@@ -56,6 +58,7 @@
         routing: Has callers' packets routed.
         waiting: SYN packets that wait until a server can take their flow.
         messages: Takes the messages of other VMs.
+        pacer: Data of uploads that waits until the link is free.
         message_bytes: Bytes of the messages that were sent and taken so far.
     """
 
@@ -79,6 +82,7 @@
         self.poll_at = now
         self.sweep_at = now
         self.message_bytes = 0
+        self.pacer: LinkPacer[Effect] = LinkPacer(self.router.link.account)
         parts = CoreParts(
             settings,
             form,
@@ -105,7 +109,7 @@
             self.router.lost_flows.due_at,
         )
         if self.router.link.is_enabled:
-            due_at = min(due_at, self.router.link.due_at(now))
+            due_at = min(due_at, self.router.link.due_at(now), self.pacer.due_at())
         if self.router.syn_buffer.by_flow:
             due_at = min(due_at, max(self.waiting.retry_at, now))
         return due_at
@@ -138,9 +142,11 @@
         if head is None:
             self.counts["packets.unread"] += 1
             return []
-        if not self.router.link.is_enabled:
-            return self.containment.run("packet", self.routing.route, head, data, now)
-        return self.containment.run("packet", self._route_counted, head, data, now)
+        link = self.router.link
+        # The ends of flows show which routes carry bulk data, while none does yet.
+        is_counted = link.is_active or (head.is_fin_or_rst and link.is_enabled)
+        route = self._route_counted if is_counted else self.routing.route
+        return self.containment.run("packet", route, head, data, now)
 
     def message(self, sender: VmId, message: Any, now: float) -> list[Effect]:
         """Return what follows from a message of another VM.
@@ -200,12 +206,35 @@
         if dropped is not None:
             return self.routing.effects.apply(dropped, head, data, now)
         effects = self.routing.route(head, data, now)
+        upload = link.upload_of(head)
+        if upload is not None:
+            effects = self._pace(effects, head, len(data), upload, now)
+        elif self.pacer.held:
+            effects += self.pacer.release(now)
         return effects + self.waiting.admit(now) if link.can_admit else effects
 
+    def _pace(
+        self,
+        effects: list[Effect],
+        head: PacketHeader,
+        size: int,
+        upload: Upload,
+        now: float,
+    ) -> list[Effect]:
+        """Have a data packet of an upload go out when the link is free."""
+        if len(effects) != 1 or not isinstance(effects[0], Datagram):
+            self.router.link.account.record_sent(size, now)
+            return effects
+        held: HeldPacket[Effect] = HeldPacket(
+            effects[0], size, upload, head.sequence_number
+        )
+        return self.pacer.hold(held, now)
+
     def _use_link(self, now: float) -> list[Effect]:
         """Admit the uploads that the link can carry, and report the queue for it."""
         link = self.router.link
         effects = self.waiting.admit(now) if link.queue.by_flow else []
+        effects += self.pacer.release(now)
         if now >= link.report_due_at():
             effects += [Sent(vm, report) for vm, report in link.due_reports(now)]
         return effects
--- a/libs/daemons/tests/link_day.py
+++ b/libs/daemons/tests/link_day.py
@@ -24,6 +24,7 @@
 from kumquatmux_daemons.token_entry.settings import EntrySettings, VmLimits
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
+from kumquatmux_tokens.link_occupancy import LinkOccupancy
 from kumquatmux_tokens.messages import MESSAGE_TYPES
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
@@ -175,6 +176,7 @@
         self.order = itertools.count()
         self.callers = {}
         self.requests = []
+        self.reports = {}
         for vm in self.vms:
             self.at(0.0, self.tick, vm)
 
@@ -211,7 +213,10 @@
             if isinstance(effect, Datagram):
                 arrives_at = vm.carry(len(effect.data), now) + WIRE_S
                 self.at(arrives_at, self.arrive, effect.data)
-            elif isinstance(effect, Sent) and effect.vm in self.by_name:
+        # Messages of one tick may be in the order of a set, which differs by run.
+        sent = [effect for effect in effects if isinstance(effect, Sent)]
+        for effect in sorted(sent, key=lambda one: one.vm):
+            if effect.vm in self.by_name:
                 self.send_message(vm, effect, now)
         due_at = max(vm.core.due_at(now), now)
         if due_at < vm.tick_at or vm.tick_at <= now:
@@ -219,6 +224,8 @@
             self.at(due_at, self.tick, vm)
 
     def send_message(self, vm, sent, now):
+        if isinstance(sent.message, LinkOccupancy):
+            self.reports.setdefault(vm.core.settings.vm, []).append(now)
         size = len(MESSAGES.encode(sent.message))
         leaves_at = vm.carry(size, now)
         receiver = self.by_name[sent.vm]
--- a/libs/tokens/src/kumquatmux_tokens/link_account.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_account.py
@@ -35,7 +35,7 @@
         is_ended: Whether its caller has closed it.
         last_packet_at: Time of its latest packet.
         departures: Time at which each of the latest data packets leaves the modelled
-            queue, by sequence number, oldest first.
+            queue, infinity while it is held on the VM, by sequence number.
     """
 
     __slots__ = (
@@ -73,6 +73,7 @@
     Attributes:
         uploads: Uploads under way by flow key.
         busy_until: Time at which the link has carried all that is known of.
+        held_bytes: Bytes of upload packets that wait on the VM to go out.
         peak_queue_s: Longest queue of late, in seconds.
         peak_at: Time of that queue.
         received_bytes: Bytes of all packets and messages, as if received, since the
@@ -88,6 +89,7 @@
         self.settings = settings
         self.uploads: dict[bytes, Upload] = {}
         self.busy_until = -math.inf
+        self.held_bytes = 0
         self.peak_queue_s = 0.0
         self.peak_at = -math.inf
         self.received_bytes = 0.0
@@ -104,13 +106,21 @@
             size: Its bytes.
             now: Current time in monotonic seconds.
         """
+        self.record_upload_packet(size, now)
+        self.record_sent(size, now)
+
+    def record_upload_packet(self, size: float, now: float) -> None:
+        """Record a packet of an upload that has come in and may go out later."""
         self.received_bytes += size
         carried_s = size / self.settings.bytes_per_s
         # The link carried the packet in before it was read.
-        self.busy_until = (
-            max(self.busy_until, now - carried_s)
-            + LINK_BYTES_PER_RECEIVED_BYTE * carried_s
-        )
+        self.busy_until = max(self.busy_until, now - carried_s) + carried_s
+
+    def record_sent(self, size: float, now: float) -> None:
+        """Record that a packet goes out that had a size when it was received."""
+        sent_bytes = (LINK_BYTES_PER_RECEIVED_BYTE - 1.0) * size
+        start_at = max(self.busy_until, now)
+        self.busy_until = start_at + sent_bytes / self.settings.bytes_per_s
         queue_s = self.busy_until - now
         memory_s = self.settings.upload_idle_s
         if queue_s >= self.peak_queue_s or now - self.peak_at > memory_s:
@@ -123,16 +133,23 @@
 
     def queue_s(self, now: float) -> float:
         """Return the seconds that the link needs for all that is known to wait."""
-        return max(self.busy_until - now, 0.0)
+        return max(self.drained_at(), now) - now
+
+    def drained_at(self) -> float:
+        """Return when the link has carried all that is known to wait here or in it."""
+        held_bytes = (LINK_BYTES_PER_RECEIVED_BYTE - 1.0) * self.held_bytes
+        return self.busy_until + held_bytes / self.settings.bytes_per_s
 
     def delay_s(self, now: float) -> float:
         """Return the seconds that a message may wait on its way in or out.
 
-        Data of uploads that callers have in flight waits unseen on its way in.
+        Data of uploads that callers have in flight waits unseen on its way in, unless
+        it is held on the VM, where messages pass it.
         """
         in_flight = sum(map(self.in_flight, self.live_uploads(now)))
-        unseen_s = in_flight * RECEIVED_BYTES_PER_DATA_BYTE / self.settings.bytes_per_s
-        return self.queue_s(now) + unseen_s
+        unseen = in_flight * RECEIVED_BYTES_PER_DATA_BYTE - self.held_bytes
+        unseen_s = max(unseen, 0.0) / self.settings.bytes_per_s
+        return max(self.busy_until - now, 0.0) + unseen_s
 
     def explains(self, silence_s: float, now: float) -> bool:
         """Return whether the queue explains that an answer has not come for a time."""
@@ -170,20 +187,10 @@
         upload.largest_payload = max(upload.largest_payload, size)
         self.has_ended_claim |= upload.is_tail_seen
         departures = upload.departures
-        departures[header.sequence_number] = self.busy_until
         if len(departures) > self.settings.departures_limit:
             del departures[next(iter(departures))]
         return False
 
-    def withdraw(self, size: int) -> None:
-        """Take back that a data packet goes out, as it was dropped.
-
-        Args:
-            size: Length of its data in bytes.
-        """
-        outgoing = (LINK_BYTES_PER_RECEIVED_BYTE - 1.0) * RECEIVED_BYTES_PER_DATA_BYTE
-        self.busy_until -= outgoing * size / self.settings.bytes_per_s
-
     def end_upload(self, upload: Upload) -> None:
         """End the claim of an upload that its caller has closed."""
         upload.is_ended = True
@@ -217,7 +224,7 @@
     def has_room(self, expected_bytes: float, now: float) -> bool:
         """Return whether an upload can start now."""
         pass_s = self.settings.window_pass_s
-        if self.busy_until - pass_s > now:
+        if self.drained_at() - pass_s > now:
             return False
         live = self.live_uploads(now)
         if not live:
@@ -231,7 +238,7 @@
         The terms are those of ``has_room``, so that rounding makes no difference: a
         tick that finds no room would be due again at once.
         """
-        drained_at = self.busy_until - self.settings.window_pass_s
+        drained_at = self.drained_at() - self.settings.window_pass_s
         live = self.live_uploads(now)
         idle_s = self.settings.upload_idle_s
         idle_at = min((one.last_packet_at + idle_s for one in live), default=now)
@@ -272,6 +279,7 @@
     def _is_waiting_copy(
         self, upload: Upload, header: PacketHeader, now: float
     ) -> bool:
-        if self.queue_s(now) <= self.settings.short_queue_s:
-            return False
-        return upload.departures.get(header.sequence_number, -math.inf) > now
+        departs_at = upload.departures.get(header.sequence_number, -math.inf)
+        if departs_at == math.inf:
+            return True
+        return self.queue_s(now) > self.settings.short_queue_s and departs_at > now
--- a/libs/tokens/src/kumquatmux_tokens/link_admission.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_admission.py
@@ -97,10 +97,20 @@
             self._learn(header, now)
         if not self.is_active:
             return None
+        is_bulk = header.route_address in self.bulk.by_address and not header.is_syn
+        if is_bulk and header.payload_length:
+            self.account.record_upload_packet(size, now)
+            return self._record_data(header, now)
         self.account.record_received(size, now)
-        if header.is_syn or header.route_address not in self.bulk.by_address:
+        if is_bulk:
+            self._record_acknowledgment(header, now)
+        return None
+
+    def upload_of(self, header: PacketHeader) -> Upload | None:
+        """Return the upload that a packet carries data of, None if it carries none."""
+        if not header.payload_length:
             return None
-        return self._record_bulk_packet(header, now)
+        return self.account.uploads.get(header.flow_key)
 
     def route_syn(self, header: PacketHeader, now: float) -> Decision | None:
         """Return the decision for a SYN packet that can't be placed yet, or None."""
@@ -182,25 +192,32 @@
         self.refused.remove_expired(now)
         self.zone.remove_expired(now)
 
-    def _record_bulk_packet(self, header: PacketHeader, now: float) -> Decision | None:
-        """Record a packet of a bulk route that is no SYN."""
-        upload = self.account.uploads.get(header.flow_key)
-        if upload is None or not is_near(
-            upload.next_sequence_number, header.sequence_number
-        ):
-            if not header.payload_length or header.is_fin_or_rst:
-                return None
-            upload = self._start_unknown(header, now)
+    def _record_data(self, header: PacketHeader, now: float) -> Decision | None:
+        """Record a data packet of a bulk route."""
+        upload = self._known_upload(header) or self._start_unknown(header, now)
         upload.last_packet_at = now
+        if self.account.record_data(upload, header, now):
+            return Drop("copy-queued")
         if header.is_fin_or_rst:
             self.account.end_upload(upload)
+        return None
+
+    def _record_acknowledgment(self, header: PacketHeader, now: float) -> None:
+        """Record a packet of a bulk route that carries no data."""
+        upload = self._known_upload(header)
+        if upload is None:
+            return
+        upload.last_packet_at = now
+        if header.is_fin_or_rst:
+            self.account.end_upload(upload)
+
+    def _known_upload(self, header: PacketHeader) -> Upload | None:
+        """Return the upload of a packet, not one that had the same port before."""
+        upload = self.account.uploads.get(header.flow_key)
+        if upload is None:
             return None
-        if not header.payload_length:
-            return None
-        if not self.account.record_data(upload, header, now):
-            return None
-        self.account.withdraw(header.payload_length)
-        return Drop("copy-queued")
+        is_same = is_near(upload.next_sequence_number, header.sequence_number)
+        return upload if is_same else None
 
     def _start(self, header: PacketHeader, expected_bytes: float, now: float) -> Upload:
         """Start the claim of the upload that a SYN packet opens."""
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -36,6 +36,10 @@
         occupancy_vms: Limit of VMs that a report goes to.
         short_queue_s: Length of the link's queue in seconds below which a copy of data
             is forwarded in any case.
+        paced_queue_s: Length of the link's queue in seconds up to which upload data is
+            sent; further data waits on the VM, so that other packets pass it. As long
+            as the loop may be late without leaving the link idle; infinity holds none.
+        held_limit: Limit of packets that wait so.
         departures_limit: Limit of packets of an upload whose departure is remembered.
         rate_smoothing: Weight of one interval in the average rate of other traffic.
         least_upload_share: Share of the link that uploads are taken to get at least.
@@ -58,6 +62,8 @@
     occupancy_validity_s: float = 3.0
     occupancy_vms: int = 64
     short_queue_s: float = 0.02
+    paced_queue_s: float = 0.02
+    held_limit: int = 128
     departures_limit: int = 32
     rate_smoothing: float = 0.3
     least_upload_share: float = 0.2
--- a/libs/tokens/tests/test_link_account.py
+++ b/libs/tokens/tests/test_link_account.py
@@ -9,6 +9,7 @@
     RECEIVED_BYTES_PER_DATA_BYTE,
     LinkAccount,
 )
+from kumquatmux_tokens.link_pacer import HeldPacket, LinkPacer
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.settings import LinkSettings
 
@@ -72,32 +73,46 @@
     assert account.remaining_bytes(upload) == SETTINGS.window_bytes / 2
 
 
-def record_packet(account, upload, header, now):
-    account.record_received(header.payload_length + 36, now)
-    return account.record_data(upload, header, now)
+def record_packet(account, pacer, upload, header, now):
+    """Return what goes out, None if the packet was dropped."""
+    account.record_upload_packet(PACKET_BYTES, now)
+    if account.record_data(upload, header, now):
+        return None
+    sequence = header.sequence_number
+    return pacer.hold(HeldPacket(sequence, PACKET_BYTES, upload, sequence), now)
 
 
-# Guards against: copies of data that is merely late, which make all data later.
-def test_a_copy_of_data_that_still_waits_to_go_out_is_not_forwarded():
+def start_window(now, packets=16):
+    """Have a window of data come at once."""
     account = LinkAccount(SETTINGS, 0.0)
-    upload = start_upload(account, 1.0)
-    for number in range(16):
-        assert not record_packet(account, upload, make_data(101 + 1200 * number), 1.0)
-    late = make_data(101 + 1200 * 15)
-    queue_s = account.queue_s(1.1)
-    assert record_packet(account, upload, late, 1.1)
-    account.withdraw(1200)
-    grown_s = account.queue_s(1.1) - queue_s
-    assert grown_s == pytest.approx(PACKET_BYTES / 250_000, rel=0.05)
+    pacer, upload = LinkPacer(account), start_upload(account, now)
+    for number in range(packets):
+        header = make_data(101 + 1200 * number)
+        assert record_packet(account, pacer, upload, header, now) is not None
+    return account, pacer, upload
+
+
+# Guards against: copies of data that is merely late, which make all data later.
+def test_a_copy_of_data_that_is_held_is_not_forwarded():
+    account, pacer, upload = start_window(1.0)
+    pacer.release(1.1)
+    held = make_data(pacer.held[0].sequence_number)
+    assert record_packet(account, pacer, upload, held, 1.1) is None
     # The first packet left long ago: if its answer is missing, it may be lost.
-    assert not record_packet(account, upload, make_data(101), 1.1)
+    assert record_packet(account, pacer, upload, make_data(101), 1.1) is not None
+
+
+def test_a_copy_of_data_in_the_links_queue_is_not_forwarded_while_that_is_long():
+    account, pacer, upload = start_window(1.0, 1)
+    account.record_received(2500, 1.0)
+    upload.departures[101] = account.busy_until
+    assert record_packet(account, pacer, upload, make_data(101), 1.005) is None
+    assert record_packet(account, pacer, upload, make_data(101), 1.05) is not None
 
 
 def test_a_copy_is_forwarded_while_the_queue_is_short():
-    account = LinkAccount(SETTINGS, 0.0)
-    upload = start_upload(account, 1.0)
-    assert not record_packet(account, upload, make_data(101), 1.0)
-    assert not record_packet(account, upload, make_data(101), 1.001)
+    account, pacer, upload = start_window(1.0, 1)
+    assert record_packet(account, pacer, upload, make_data(101), 1.001) is not None
 
 
 def test_the_queue_explains_a_silence_that_is_shorter_than_it():
