--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -119,7 +119,7 @@
 
     def note_messages(self, now: float) -> None:
         """Tell the core how much of the link the messages used."""
-        if self.core.router.link.is_enabled:
+        if self.core.router.settings.link.bytes_per_s:
             counts = self.ports.peers.counts
             total = counts["peers.sent_bytes"] + counts["peers.taken_bytes"]
             self.core.note_message_bytes(total, now)
