--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -11,6 +11,7 @@
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.flow import Flow
 from kumquatmux_tokens.gone import GoneServers
+from kumquatmux_tokens.link_admission import LinkAdmission
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.load_reporter import LoadReporter
 from kumquatmux_tokens.lost_flows import LostFlows
@@ -61,6 +62,7 @@
         recovering: Tells which servers that started or recovered get a flow now.
         selector: Selects the servers of new flows.
         syn_router: Decides what to do with each SYN packet.
+        link: Admission of uploads to this VM's link.
         lost_holders: Control VMs of the zones that nothing has been heard of for long
             enough that a live server would report to another one by now.
         probes: Probes of the servers whose flows may be lost.
@@ -118,6 +120,16 @@
             self.load_reporter,
             now,
         )
+        self.link = LinkAdmission(
+            settings,
+            random,
+            self.load_tracker,
+            self.syn_buffer,
+            self.coordinators,
+            self.recent,
+            now,
+        )
+        self.coordinators.is_explained = self.link.explains
         self.lost_holders: frozenset[VmId] = frozenset()
         self.is_known_late: Callable[[ServerRecord, float], bool] = _is_called_late
         self.listening_since = now
@@ -128,6 +140,10 @@
             return self._route_by_token(header, now)
         if self.backlog.is_unread(now):
             return Drop("opening-outdated")
+        if self.link.is_active:
+            held = self.link.route_syn(header, now)
+            if held is not None:
+                return held
         return self.syn_router.route(header, now)
 
     def note_pause(self, now: float, gap_s: float) -> None:
@@ -149,7 +165,10 @@
 
     def install_routes(self, routes: RouteSet, now: float) -> bool:
         """Install the routes of a newer document; return whether it was newer."""
-        return self.route_table.install(routes, now)
+        is_newer = self.route_table.install(routes, now)
+        if is_newer:
+            self.link.install_routes(self.route_table.routes)
+        return is_newer
 
     def set_evacuated_zones(self, zones: frozenset[ZoneName]) -> None:
         """Set the zones whose servers get no new flows."""
@@ -253,6 +272,7 @@
         self.lost_flows.remove_expired(now)
         self.coordinators.remove_expired(now)
         self.recovering.remove_expired(now)
+        self.link.remove_expired(now)
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
