Move the rule for a standing queue to a module of its own

The queue of a service on the token path needs the rule that WaitQueue held: a queue that has not been empty for standing_queue_after_ms no longer gains from longer waits. StandingQueue holds it now and WaitQueue uses it. Behaviour is as before.

--- a/libs/placement/src/kumquatmux_placement/waiting.py
+++ b/libs/placement/src/kumquatmux_placement/waiting.py
@@ -8,6 +8,7 @@
 
 from kumquatmux_placement.events import SizeClass, Work
 from kumquatmux_placement.settings import PlacementSettings
+from kumquatmux_placement.standing_queue import StandingQueue
 
 
 class QueuedWork(NamedTuple):
@@ -29,21 +30,19 @@
 class WaitQueue:
     """Queued work of one service: long work last, otherwise in order of arrival.
 
-    A queue that has not been empty for ``standing_queue_after_ms`` is a standing queue:
-    demand exceeds the capacity of the servers, and a longer wait does not help. Work is
-    then held for a shorter time.
+    Work is held for a shorter time while the queue is a standing queue.
 
     Attributes:
         settings: Placement settings.
         short_queue: Work not expected to be long, in order of arrival; served first.
         long_queue: Work expected to be long, in order of arrival.
         expiry_heap: Heap of expiry times and work ids, some of work already removed.
-        nonempty_since: When the queue became nonempty, in seconds; infinite if empty.
+        standing: Tells whether the queue is a standing queue.
     """
 
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
-        self.nonempty_since = float("inf")
+        self.standing = StandingQueue(settings)
         self.short_queue: OrderedDict[bytes, QueuedWork] = OrderedDict()
         self.long_queue: OrderedDict[bytes, QueuedWork] = OrderedDict()
         self.expiry_heap: list[tuple[float, bytes]] = []
@@ -61,7 +60,7 @@
 
     def enqueue(self, queued: QueuedWork) -> None:
         """Append work to its queue."""
-        self.nonempty_since = min(self.nonempty_since, queued.queued_at)
+        self.standing.note_queued(queued.queued_at)
         queue = (
             self.long_queue
             if queued.run_time_class is SizeClass.LONG
@@ -76,7 +75,7 @@
             work_id, None
         )
         if not self:
-            self.nonempty_since = float("inf")
+            self.standing.note_empty()
         if removed is not None and len(self.expiry_heap) > 2 * len(self) + 16:
             self.compact_expiry_heap()
         return removed
@@ -91,7 +90,7 @@
 
     def max_hold_s(self, now: float) -> float:
         """Return the longest time for which work is held now, in seconds."""
-        if now >= self.nonempty_since + self.settings.standing_queue_after_ms / 1000.0:
+        if self.standing.is_standing(now):
             return min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
         return self.settings.hold_ms / 1000.0
 
@@ -100,15 +99,12 @@
         standing_hold_s = (
             min(self.settings.crest_hold_ms, self.settings.hold_ms) / 1000.0
         )
-        standing_from = (
-            self.nonempty_since + self.settings.standing_queue_after_ms / 1000.0
-        )
         oldest_queued_at = min(
             (head.queued_at for head in self.queue_heads()), default=float("inf")
         )
         return min(
             self.next_expiry(),
-            max(oldest_queued_at + standing_hold_s, standing_from),
+            max(oldest_queued_at + standing_hold_s, self.standing.starts_at),
         )
 
     def queue_heads(self) -> list[QueuedWork]:
