Say in placement messages what a queue of openings orders by

A coordinator that queues openings needs the route's priority and target latency, how long the caller still waits and whether it was refused before; the VM that asked needs to know that its opening is queued, or refused. The fields go last and have defaults, so that VMs of both versions read each other. Times are whole milliseconds, as floats would add 16 bytes to every question. A question grows from 39 to 43 bytes where the fields say nothing.

test_recorded_bytes.py: a type may have grown more than once, so its fields are listed in one group for each time. A recorded message must lack none of the groups, or all since some time, and each such length must be recorded, as strict as before for one group.

--- a/libs/daemons/src/kumquatmux_daemons/transport/intake.py
+++ b/libs/daemons/src/kumquatmux_daemons/transport/intake.py
@@ -140,6 +140,8 @@
         and _are_texts((message.service,))
         and len(message.tried_tokens) <= MAX_TRIED_TOKENS
         and _are_tokens((message.sequence_number, *message.tried_tokens))
+        and _are_numbers((message.priority,))
+        and _are_numbers((message.wait_left_ms, message.target_latency_ms))
     )
     return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
 
@@ -149,7 +151,7 @@
     is_sound = (
         len(message.flow_key) == FLOW_KEY_BYTES
         and _are_tokens((message.token,))
-        and _are_numbers((message.reservation_number,))
+        and _are_numbers((message.reservation_number, message.queue_position))
     )
     return Ok(message) if is_sound else _refused(OUT_OF_BOUNDS)
 
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -27,6 +27,13 @@
         expects_many_requests: Whether the flow is likely to carry many requests.
         sequence_number: Sequence number of the flow's SYN, which tells it from a flow
             that the caller had before on the same port.
+        priority: Priority of the flow's route; 0 is the highest.
+        wait_left_ms: Milliseconds for which the caller still waits, 0 if that is not
+            said. Whole numbers are shorter on the wire.
+        target_latency_ms: Target latency of the flow's route in milliseconds, 0 if it
+            has none.
+        was_refused: Whether the flow seems to be the retry of a caller that was refused
+            at the requesting VM.
     """
 
     sender: VmId
@@ -35,6 +42,10 @@
     tried_tokens: tuple[int, ...]
     expects_many_requests: bool
     sequence_number: int = 0
+    priority: int = 0
+    wait_left_ms: int = 0
+    target_latency_ms: int = 0
+    was_refused: bool = False
 
 
 class PlaceAnswer(NamedTuple):
@@ -47,6 +58,10 @@
         is_full: Whether the request queue of the selected server is full, so that the
             flow has to wait.
         reservation_number: Number of the reservation for the flow, 0 for none.
+        queue_position: Position of the flow in the answering VM's queue, which sends a
+            second answer once the flow has a server; 0 if the flow is not queued.
+        is_refused: Whether the flow would get no server in time, so that its caller is
+            to be refused.
     """
 
     sender: VmId
@@ -54,6 +69,8 @@
     token: int
     is_full: bool
     reservation_number: int
+    queue_position: int = 0
+    is_refused: bool = False
 
 
 class Backoff:
@@ -123,6 +140,11 @@
         """Record that a placement request was sent."""
         self.pending_requests[flow_key] = PendingRequest(vm, now)
 
+    def is_asked(self, vm: VmId, flow_key: bytes) -> bool:
+        """Return whether an answer of a VM to a flow's placement request is awaited."""
+        request = self.pending_requests.get(flow_key)
+        return request is not None and request.vm == vm
+
     def is_pending(self, flow_key: bytes, now: float) -> bool:
         """Return whether an answer to a flow's placement request may still come.
 
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -46,12 +46,26 @@
     ),
 }
 APPENDED_FIELDS = {
-    "FeedPoll": ("members",),
-    "FeedAnswer": ("members",),
-    "FlowAnswer": ("seen_token",),
-    "PlaceQuestion": ("sequence_number",),
+    "FeedPoll": (("members",),),
+    "FeedAnswer": (("members",),),
+    "FlowAnswer": (("seen_token",),),
+    "PlaceQuestion": (
+        ("sequence_number",),
+        ("priority", "wait_left_ms", "target_latency_ms", "was_refused"),
+    ),
+    "PlaceAnswer": (("queue_position", "is_refused"),),
 }
-"""Fields that message types got since; older senders leave them out."""
+"""Fields that message types got since, one group each time.
+
+Older senders leave out all groups since their time.
+"""
+
+
+def appended_fields(name):
+    """Return what the senders of each time leave out, those of today first."""
+    groups = APPENDED_FIELDS.get(name, ())
+    missing = [groups[since:] for since in range(len(groups), -1, -1)]
+    return [tuple(field for group in one for field in group) for one in missing]
 
 
 def recorded(name):
@@ -87,7 +101,7 @@
     assert type(message) is message_type
     values = msgspec.msgpack.decode(data[HEADER_BYTES:])
     appended = message_type._fields[len(values) :]
-    assert appended in ((), APPENDED_FIELDS.get(message_type.__name__))
+    assert appended in appended_fields(message_type.__name__)
     values += [message_type._field_defaults[name] for name in appended]
     again = data[:HEADER_BYTES] + msgspec.msgpack.encode(values)
     assert CHANNELS[channel].encode(message) == again
@@ -102,7 +116,7 @@
         for text in rows[name]["bytes"]
     }
     all_fields = len(kinds[name]._fields)
-    assert lengths == {all_fields - len(APPENDED_FIELDS[name]), all_fields}
+    assert lengths == {all_fields - len(one) for one in appended_fields(name)}
 
 
 @pytest.mark.parametrize("text", recorded("envelopes")["envelopes"])
