--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,7 +14,7 @@
   printf '%s\n' "$stamp" > "$deps/.libraries"
 fi
 rm -rf "$deps"/kumquatmux_*
-for package in core registry tokens agreement storage settings daemons; do
+for package in core registry placement tokens agreement storage settings daemons; do
   cp -r "libs/$package/src/kumquatmux_$package" "$deps/"
 done
 cp -r platform/src/kumquatmux_platform "$deps/"
--- /dev/null
+++ b/libs/tokens/src/kumquatmux_tokens/refused_callers.py
@@ -0,0 +1,74 @@
+"""Callers that were refused a short time ago, by which their retries are recognized.
+
+A retry comes from a new port, so that only the caller's address tells it from another
+opening. Each refusal makes one later opening of the address count as a retry: many
+callers may share an address, and their first attempts are no retries.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from kumquatmux_tokens.settings import TokenRouterSettings
+
+CALLER_BYTES = 4
+
+
+class Refusals(NamedTuple):
+    """Refusals of one caller address.
+
+    Attributes:
+        unused: Number of them that no retry has followed yet.
+        latest_at: Time of the latest one, in monotonic seconds.
+    """
+
+    unused: int
+    latest_at: float
+
+
+def caller_of(flow_key: bytes) -> bytes:
+    """Return the caller's address, the first 4 bytes of a flow key."""
+    return flow_key[:CALLER_BYTES]
+
+
+class RefusedCallers:
+    """Refusals that may still be followed by a retry, in bounded memory.
+
+    Attributes:
+        by_caller: Refusals by caller address, the latest last.
+    """
+
+    def __init__(self, settings: TokenRouterSettings) -> None:
+        self.settings = settings
+        self.by_caller: OrderedDict[bytes, Refusals] = OrderedDict()
+
+    def add(self, caller: bytes, now: float) -> None:
+        """Note that a caller was refused; forget the oldest if there are too many."""
+        self.remove_expired(now)
+        previous = self.by_caller.pop(caller, None)
+        unused = previous.unused if previous is not None else 0
+        self.by_caller[caller] = Refusals(unused + 1, now)
+        if len(self.by_caller) > self.settings.refused_callers_limit:
+            self.by_caller.popitem(last=False)
+
+    def take(self, caller: bytes, now: float) -> bool:
+        """Return whether an opening counts as a retry, which uses up one refusal."""
+        self.remove_expired(now)
+        refusals = self.by_caller.get(caller)
+        if refusals is None:
+            return False
+        if refusals.unused > 1:
+            self.by_caller[caller] = refusals._replace(unused=refusals.unused - 1)
+        else:
+            del self.by_caller[caller]
+        return True
+
+    def remove_expired(self, now: float) -> None:
+        """Forget refusals that are too old for a retry to follow."""
+        limit = now - self.settings.refused_caller_s
+        while self.by_caller:
+            caller, refusals = next(iter(self.by_caller.items()))
+            if refusals.latest_at > limit:
+                return
+            del self.by_caller[caller]
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -59,6 +59,25 @@
         server_queue_limit: Requests that may queue at a server beyond its slots before
             new flows wait here; as many as finish well within the target time of an
             answer.
+        service_queue_limit: Limit of openings that wait in the queue of one service.
+        queued_openings_limit: Limit of openings that wait in all queues of this VM.
+        caller_queue_limit: Limit of openings of one caller address in a queue.
+        grant_interval_s: Seconds between grants of free slots to queued openings.
+        grant_rate_window_s: Length of the time windows, of which the last two tell how
+            fast slots free up.
+        grant_rate_min_s: Seconds of a queue's life before its grants tell that.
+        priority_share_grants: Number of slots of which a lower priority with queued
+            openings gets at least one.
+        target_wait_factor: Factor of a route's target latency that an opening may wait;
+            an answer after twice the target is taken to be of little use.
+        standing_wait_share: Share of the target latency that an opening is expected to
+            wait at most in a standing queue; the rest is for the request itself.
+        refused_callers_limit: Limit of remembered addresses of refused callers.
+        refused_caller_s: Seconds for which a refused caller may come again.
+        queue_refresh_s: Seconds after which a VM asks again for an opening that waits
+            in the queue of another one.
+        queue_silence_s: Seconds without an answer of that VM from which a copy of the
+            SYN has it asked again.
         warm_up_cost_factor: Factor on the cost of a server in warm-up.
         server_avoidance_s: Seconds for which a server is avoided after it left a SYN
             packet unanswered; doubles with each further one.
@@ -136,6 +155,19 @@
     remote_zone_cost: float = 0.7
     idle_flow_cost: float = 0.03
     server_queue_limit: int = 6
+    service_queue_limit: int = 1024
+    queued_openings_limit: int = 2048
+    caller_queue_limit: int = 256
+    grant_interval_s: float = 0.02
+    grant_rate_window_s: float = 0.5
+    grant_rate_min_s: float = 0.1
+    priority_share_grants: int = 8
+    target_wait_factor: float = 2.0
+    standing_wait_share: float = 0.5
+    refused_callers_limit: int = 4096
+    refused_caller_s: float = 5.0
+    queue_refresh_s: float = 1.0
+    queue_silence_s: float = 0.15
     warm_up_cost_factor: float = 1.6
     server_avoidance_s: float = 0.5
     server_avoidance_max_s: float = 4.0
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -11,7 +11,16 @@
 
 ROOT = Path(__file__).parents[1]
 SCRIPT = ROOT / "deploy" / "build.sh"
-PACKAGES = ("core", "registry", "tokens", "agreement", "storage", "settings", "daemons")
+PACKAGES = (
+    "core",
+    "registry",
+    "placement",
+    "tokens",
+    "agreement",
+    "storage",
+    "settings",
+    "daemons",
+)
 INTERPRETER = """#!/bin/sh
 echo "$2" >> calls
 case "$1 $2" in
