Have the coordinator of a service queue openings that find its servers full

For a service that a route with a target latency reaches, the coordinator holds one queue for its own SYNs and those of other VMs, and sends a second PlaceAnswer when a slot is granted, every 20 ms. A VM whose opening is queued asks again once a second, when the coordinator changes, or at a copy of the SYN if the coordinator has been silent for 150 ms. An opening that gets no slot in time is reset with service-full if it was the first SYN and was forwarded nowhere, and else dropped, as for other refusals. An older coordinator is polled as before, and an older VM's questions are queued by the route of the coordinator's own document. Other services are polled as before.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -100,7 +100,7 @@
             self.router.reports_due_at(),
             self.router.lost_flows.due_at,
         )
-        if self.router.syn_buffer.by_flow:
+        if self.router.syn_buffer.by_flow or self.router.queues.has_work():
             due_at = min(due_at, max(self.waiting.retry_at, now))
         return due_at
 
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/daemon.py
@@ -193,11 +193,13 @@
     """Return what answers with the metrics."""
 
     async def handle(call: HttpCall) -> HttpAnswer:
-        counts = core.counts + ports.peers.counts + ports.packets.counts
+        counts = core.counts + core.router.queues.counts
+        counts += ports.peers.counts + ports.packets.counts
         gauges = {
             "document": float(core.router.route_table.document_number),
             "servers": float(len(core.router.directory.by_token)),
             "flows": float(len(core.router.load_tracker.flows)),
+            "queue_length": float(len(core.router.queues)),
             "held": float(core.router.token_buffer.count),
             "lines_dropped": float(sum(lines.dropped.values())),
         }
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/peer_messages.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/peer_messages.py
@@ -101,12 +101,14 @@
 
     @_handle.register
     def _(self, message: PlaceAnswer, now: float) -> list[Effect]:
+        is_queued = message.flow_key in self.router.syn_buffer.waits
         held = self.router.process_placement_answer(message, now)
         if held is None:
             return []
         decision = self.router.apply_placement_answer(held.header, message, now)
         effects = self.waiting.release(decision, held, now)
-        return effects + self.waiting.try_again(now)
+        # The answer for an opening in a queue says nothing of those behind it.
+        return effects if is_queued else effects + self.waiting.try_again(now)
 
     @_handle.register
     def _(self, message: TokenQuestion, now: float) -> list[Effect]:
--- a/libs/daemons/src/kumquatmux_daemons/token_entry/waiting_syns.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/waiting_syns.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from kumquatmux_daemons.token_entry.containment import Containment
-from kumquatmux_daemons.token_entry.effects import Effect
+from kumquatmux_daemons.token_entry.effects import Effect, Sent
 from kumquatmux_daemons.token_entry.packet_effects import PacketEffects
 from kumquatmux_tokens.packets import Decision, HoldForServer, RequestPlacement
 from kumquatmux_tokens.router import TokenRouter
+from kumquatmux_tokens.syn_router import SettledRequest
 from kumquatmux_tokens.waiting import BufferedPacket
 
 RETRY_S = 0.02
@@ -36,14 +37,29 @@
         self.retry_at = now
 
     def try_again(self, now: float) -> list[Effect]:
-        """Place the SYN packets that wait, as far as there are servers now."""
+        """Place the SYN packets that wait, as far as there are servers now.
+
+        Those that wait in a queue get the slots that are free first.
+        """
         self.retry_at = now + RETRY_S
-        effects: list[Effect] = []
+        effects = self.containment.run("queue", self._settle_queues, now)
         for held in self.router.syn_buffer.unexpired_packets(now):
             effects += self.containment.run("packet", self._try_one, held, now)
         return effects
 
+    def _settle_queues(self, now: float) -> list[Effect]:
+        """Grant free slots to queued openings, and refuse those that get none."""
+        effects: list[Effect] = []
+        for settled in self.router.settle_queues(now):
+            if isinstance(settled, SettledRequest):
+                effects.append(Sent(settled.vm, settled.answer))
+            else:
+                effects += self.release(settled.decision, settled.packet, now)
+        return effects
+
     def _try_one(self, held: BufferedPacket, now: float) -> list[Effect]:
+        if self.router.syn_router.is_queued(held.header, now):
+            return []
         decision = self.router.route_packet(held.header, now)
         return self.release(decision, held, now)
 
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -34,8 +34,13 @@
 from kumquatmux_tokens.recent import RecentPlacements
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.server_selector import ServerSelector
+from kumquatmux_tokens.service_queues import ServiceQueues
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.syn_router import SynRouter
+from kumquatmux_tokens.syn_router import (
+    SettledPacket,
+    SettledRequest,
+    SynRouter,
+)
 from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer, TokenLookupBuffer
 from kumquatmux_tokens.work import LoadShare
 
@@ -57,6 +62,7 @@
         opened_flows: What other VMs are told of flows with several servers.
         load_reporter: Reports this VM's load to the other VMs of the zone.
         selector: Selects the servers of new flows.
+        queues: Queues of the services whose flows this VM places.
         syn_router: Decides what to do with each SYN packet.
         lost_holders: Control VMs of the zones that nothing has been heard of for long
             enough that a live server would report to another one by now.
@@ -98,11 +104,12 @@
             settings, self.directory, self.load_tracker, self.coordinators
         )
         self.selector = ServerSelector(settings, random, self.pools, self.recent)
+        self.queues = ServiceQueues(settings, self.route_table, self.selector)
         self.syn_router = SynRouter(
             settings,
             self.route_table,
             self.syn_buffer,
-            self.selector,
+            self.queues,
             self.load_reporter,
             now,
         )
@@ -136,8 +143,8 @@
     def answer_placement_request(
         self, question: PlaceQuestion, now: float
     ) -> PlaceAnswer:
-        """Select a server for a flow whose SYN packet arrived at another VM."""
-        return self.selector.answer_request(question, now)
+        """Place or queue a flow whose SYN packet arrived at another VM."""
+        return self.queues.answer_request(question, now)
 
     def process_placement_answer(
         self, answer: PlaceAnswer, now: float
@@ -145,7 +152,7 @@
         """Process the answer to a placement request.
 
         Returns:
-            The buffered SYN packet to forward now, None if there is none whose caller
+            The buffered SYN packet to decide on now, None if there is none whose caller
             still waits or every server is full.
         """
         return self.syn_router.process_answer(answer, now)
@@ -156,6 +163,10 @@
         """Return the decision for a SYN packet whose server another VM selected."""
         return self.syn_router.apply_answer(header, answer, now)
 
+    def settle_queues(self, now: float) -> list[SettledPacket | SettledRequest]:
+        """Return what follows for the openings whose wait in a queue here ends."""
+        return self.syn_router.settle_queues(now)
+
     def record_probe(
         self, token: int, result: ProbeResult, now: float
     ) -> list[BufferedPacket]:
@@ -218,6 +229,8 @@
         self.recent.remove_expired(now)
         self.lost_flows.remove_expired(now)
         self.coordinators.remove_expired(now)
+        self.queues.remove_expired(now)
+        self.syn_buffer.remove_unbuffered()
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
--- a/libs/tokens/src/kumquatmux_tokens/routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/routes.py
@@ -101,6 +101,8 @@
         document_number: Number of the document in force, 0 for none.
         routes: Routes of that document, by address.
         warm_ups: Warm-up of each service whose servers start cold, by service.
+        queued_services: Services with a route that has a target latency; openings that
+            find all their servers full wait in a queue.
         removed_at: Removal times of routes that are no longer in force, by address.
     """
 
@@ -108,6 +110,7 @@
         self.document_number = 0
         self.routes: dict[bytes, Route] = {}
         self.warm_ups: dict[ServiceName, WarmUp] = {}
+        self.queued_services: frozenset[ServiceName] = frozenset()
         self.removed_at: dict[bytes, float] = {}
 
     def install(self, route_set: RouteSet, now: float) -> bool:
@@ -118,6 +121,13 @@
         self.document_number = route_set.document_number
         self.routes = {route.address: route for route in route_set.routes}
         self.warm_ups = {one.service: one for one in route_set.warm_ups}
+        self.queued_services = frozenset(
+            share.service
+            for route in route_set.routes
+            if math.isfinite(route.target_latency_s)
+            for share in route.weighted_services
+            if share.weight
+        )
         for address in previous_routes.keys() - self.routes.keys():
             self.removed_at[address] = now
         for address in self.routes:
--- a/libs/tokens/src/kumquatmux_tokens/server_selector.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_selector.py
@@ -6,7 +6,6 @@
 
 from kumquatmux_core.identity import ServiceName
 from kumquatmux_tokens.choice import NewFlow, Selection, select_server
-from kumquatmux_tokens.directory import ServerEntry
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.pools import ServerPools
 from kumquatmux_tokens.recent import RecentPlacements
@@ -35,15 +34,16 @@
         self.directory = pools.directory
         self.load_tracker = pools.load_tracker
 
-    def answer_request(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
-        """Select a server for a flow whose SYN packet arrived at another VM."""
-        new_flow = NewFlow(
-            question.tried_tokens,
-            question.expects_many_requests,
-            now,
-            question.sequence_number,
-        )
-        selection = self.select(question.flow_key, question.service, new_flow)
+    def answer(
+        self, question: PlaceQuestion, selection: Selection | None, now: float
+    ) -> PlaceAnswer:
+        """Return the answer to a placement request, with a reservation if it is placed.
+
+        Args:
+            question: The request of another VM.
+            selection: The selected server, None if there is none to choose.
+            now: Current time in monotonic seconds.
+        """
         own_vm = self.settings.vm
         if selection is None:
             return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
@@ -57,9 +57,9 @@
         self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
     ) -> Selection | None:
         """Return the server for a flow, None if the service has none to choose."""
-        recent_entry = self._recent_entry(flow_key, service, new_flow)
-        if recent_entry is not None:
-            return Selection(recent_entry, 0.0, 1, 0, False)
+        recent = self.recent_selection(flow_key, service, new_flow)
+        if recent is not None:
+            return recent
         pool = self.pools.pool(service)
         selection = select_server(pool, new_flow, self.load_tracker, self.random)
         if selection is not None and not selection.is_full:
@@ -68,9 +68,9 @@
             )
         return selection
 
-    def _recent_entry(
+    def recent_selection(
         self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
-    ) -> ServerEntry | None:
+    ) -> Selection | None:
         """Return the server that another copy of a flow's SYN was sent to, if sound."""
         recent_token = self.recent.token_of(
             flow_key, new_flow.now, new_flow.sequence_number
@@ -82,5 +82,6 @@
             return None
         load = self.load_tracker.local_loads.get(token)
         is_avoided = load is not None and load.avoided_until > new_flow.now
-        is_of_service = entry.record.report.service == service
-        return entry if is_of_service and not is_avoided else None
+        if is_avoided or entry.record.report.service != service:
+            return None
+        return Selection(entry, 0.0, 1, 0, False)
--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
+from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import ServiceName
-from kumquatmux_tokens.choice import NewFlow
+from kumquatmux_core.identity import ServiceName, VmId
+from kumquatmux_tokens.choice import NewFlow, Selection
 from kumquatmux_tokens.directory import ServerEntry
 from kumquatmux_tokens.load_reporter import LoadReporter
 from kumquatmux_tokens.packets import (
@@ -19,13 +20,50 @@
     Reset,
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
-from kumquatmux_tokens.routes import RouteTable
-from kumquatmux_tokens.server_selector import ServerSelector
+from kumquatmux_tokens.refused_callers import RefusedCallers, caller_of
+from kumquatmux_tokens.routes import Route, RouteTable
+from kumquatmux_tokens.service_queues import (
+    MS_PER_S,
+    Granted,
+    QueueOutcome,
+    QueuePlace,
+    QueueRefusal,
+    Refused,
+    ServiceQueues,
+    refusal_of,
+)
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer
+from kumquatmux_tokens.waiting import BufferedPacket, QueueWait, SynBuffer
 
 SYN_RESET_SEQUENCE_NUMBER = 0
 
+NO_SLOT = HoldForServer("no-slot")
+"""Decision for a SYN packet that finds all servers of its service full."""
+
+
+class SettledPacket(NamedTuple):
+    """A buffered SYN packet that waits in this VM's queue no longer.
+
+    Attributes:
+        packet: The packet.
+        decision: What to do with it.
+    """
+
+    packet: BufferedPacket
+    decision: Decision
+
+
+class SettledRequest(NamedTuple):
+    """Another VM's placement request that waits in this VM's queue no longer.
+
+    Attributes:
+        vm: The VM that asked.
+        answer: The answer for it.
+    """
+
+    vm: VmId
+    answer: PlaceAnswer
+
 
 class SynRouter:
     """Decides what to do with each SYN packet.
@@ -33,11 +71,14 @@
     Attributes:
         route_table: Routes in force.
         syn_buffer: SYN packets that are buffered until a server can take their flow.
+        queues: Queues of the services whose flows this VM places.
         selector: Selects a server if this VM places the flow.
         load_reporter: Reports the use of reservations.
         last_served_at: Time when each service last had a server for a flow.
         last_full_at: Time when another VM last answered that a service's servers are
             full.
+        queue_heard_at: Time when each VM last answered for a flow in its queue.
+        refused_callers: Callers that were refused here as a service was full.
     """
 
     def __init__(
@@ -45,7 +86,7 @@
         settings: TokenRouterSettings,
         route_table: RouteTable,
         syn_buffer: SynBuffer,
-        selector: ServerSelector,
+        queues: ServiceQueues,
         load_reporter: LoadReporter,
         now: float,
     ) -> None:
@@ -53,13 +94,16 @@
         self.started_at = now
         self.route_table = route_table
         self.syn_buffer = syn_buffer
-        self.selector = selector
+        self.queues = queues
+        self.selector = queues.selector
         self.load_reporter = load_reporter
-        self.directory = selector.directory
-        self.load_tracker = selector.load_tracker
+        self.directory = self.selector.directory
+        self.load_tracker = self.selector.load_tracker
         self.coordinators = load_reporter.coordinators
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
+        self.queue_heard_at: dict[VmId, float] = {}
+        self.refused_callers = RefusedCallers(settings)
 
     def route(self, header: PacketHeader, now: float) -> Decision:
         """Return the decision for a SYN packet."""
@@ -82,49 +126,91 @@
             entry = self.directory.running_entry(flow.token)
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, entry.token)
-        tried_tokens = flow.tried_tokens if flow is not None else ()
         if header.flow_key in self.coordinators.pending_requests:
             if self.coordinators.is_pending(header.flow_key, now):
                 return HoldForServer("asked")
-            return self._place_locally(header, service, now)
+            if self.syn_buffer.waits.pop(header.flow_key, None) is None:
+                return self._place_locally(header, service, now)
+        if self.is_queued(header, now):
+            return HoldForServer("queued")
         coordinator = self.coordinators.coordinator_for(service, now)
         if coordinator == self.settings.vm:
-            return self._place_locally(header, service, now)
+            return self._place_as_coordinator(header, route, service, now)
         if self._is_placement_paused(service, now):
-            return HoldForServer("no-slot")
+            return NO_SLOT
         self.coordinators.record_request(coordinator, header.flow_key, now)
-        expects_many_requests = self.load_tracker.expects_many_requests(
-            header.route_address
-        )
+        question = self._question_about(header, route, service, now)
+        return RequestPlacement(coordinator, question)
+
+    def is_queued(self, header: PacketHeader, now: float) -> bool:
+        """Return whether a SYN packet's flow waits in a queue and nothing is due.
+
+        Another VM that queued it is asked again once in ``queue_refresh_s``, in case
+        its second answer was lost, at a copy of the SYN if the VM is silent, and if
+        another one is the coordinator now.
+        """
+        flow_key = header.flow_key
+        wait = self.syn_buffer.waits.get(flow_key)
+        if wait is None or flow_key in self.coordinators.pending_requests:
+            return False
         own_vm = self.settings.vm
-        return RequestPlacement(
-            coordinator,
-            PlaceQuestion(
-                own_vm,
-                header.flow_key,
-                service,
-                tried_tokens,
-                expects_many_requests,
-                header.sequence_number,
-            ),
-        )
+        coordinator = self.coordinators.coordinator_for(wait.service, now)
+        if wait.vm == own_vm and coordinator == own_vm:
+            return self.queues.holds(wait.service, flow_key)
+        if wait.vm != coordinator:
+            self._leave_queue(flow_key)
+            return False
+        if now - wait.asked_at >= self.settings.queue_refresh_s:
+            return False
+        heard_at = max(wait.asked_at, self.queue_heard_at.get(wait.vm, -math.inf))
+        is_silent = now - heard_at >= self.settings.queue_silence_s
+        return not (is_silent and self._is_new_copy(header))
+
+    def settle_queues(self, now: float) -> list[SettledPacket | SettledRequest]:
+        """Return what follows for the openings whose wait in this VM's queues ends."""
+        settled = []
+        for outcome in self.queues.outcomes(now):
+            if outcome.question.sender == self.settings.vm:
+                one: SettledPacket | SettledRequest | None = self._settle_packet(
+                    outcome, now
+                )
+            else:
+                one = self._settle_request(outcome, now)
+            if one is not None:
+                settled.append(one)
+        return settled
 
     def process_answer(self, answer: PlaceAnswer, now: float) -> BufferedPacket | None:
         """Process the answer to a placement request.
 
         Returns:
-            The buffered SYN packet to forward now, None if there is none whose caller
+            The buffered SYN packet to decide on now, None if there is none whose caller
             still waits or every server is full.
         """
-        self.coordinators.record_answer(answer.sender, answer.flow_key)
-        packet = self.syn_buffer.unexpired_packet(answer.flow_key, now)
+        flow_key = answer.flow_key
+        is_asked = self.coordinators.is_asked(answer.sender, flow_key)
+        self.coordinators.record_answer(answer.sender, flow_key)
+        packet = self.syn_buffer.unexpired_packet(flow_key, now)
         if packet is None:
             return None
+        wait = self.syn_buffer.waits.get(flow_key)
+        is_of_queue = wait is not None and wait.vm == answer.sender
+        if is_of_queue or answer.queue_position:
+            self.queue_heard_at[answer.sender] = now
+        if answer.is_refused:
+            is_asked_elsewhere = flow_key in self.coordinators.pending_requests
+            is_current = is_asked or (is_of_queue and not is_asked_elsewhere)
+            return packet if is_current else None
         route = self.route_table.routes.get(packet.header.route_address)
-        service = route.select_service(answer.flow_key) if route else ServiceName("")
+        service = route.select_service(flow_key) if route else ServiceName("")
         if answer.is_full:
-            self.last_full_at[service] = now
+            if is_asked and answer.queue_position:
+                self.syn_buffer.waits[flow_key] = QueueWait(answer.sender, service, now)
+            elif not answer.queue_position:
+                self.syn_buffer.waits.pop(flow_key, None)
+                self.last_full_at[service] = now
             return None
+        self._leave_queue(flow_key)
         return packet
 
     def apply_answer(
@@ -137,6 +223,8 @@
         route = self.route_table.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header, now)
+        if answer.is_refused:
+            return self._refuse_full(header, now)
         service = route.select_service(header.flow_key)
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
@@ -153,10 +241,8 @@
     def _place_locally(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
-        flow = self.load_tracker.flow_of_syn(header)
-        tried_tokens = flow.tried_tokens if flow is not None else ()
         new_flow = NewFlow(
-            tried_tokens,
+            self._tried_tokens(header),
             self.load_tracker.expects_many_requests(header.route_address),
             now,
             header.sequence_number,
@@ -166,7 +252,112 @@
             return self._decide_without_server(header, service, now)
         self.last_served_at[service] = now
         if selection.is_full:
-            return HoldForServer("no-slot")
+            return NO_SLOT
+        return self._forward(header, selection, now)
+
+    def _place_as_coordinator(
+        self, header: PacketHeader, route: Route, service: ServiceName, now: float
+    ) -> Decision:
+        """Return the decision for a SYN packet of a service that this VM places.
+
+        If its openings wait in a queue, or would have to, it joins them there.
+        """
+        if not self.queues.has_waiting(service):
+            decision = self._place_locally(header, service, now)
+            if decision != NO_SLOT or not self.queues.is_queued(service):
+                return decision
+        question = self._question_about(header, route, service, now)
+        outcome = self.queues.place(question, now)
+        if outcome is None:
+            return self._decide_without_server(header, service, now)
+        self.last_served_at[service] = now
+        if isinstance(outcome, QueuePlace):
+            own_vm = self.settings.vm
+            self.syn_buffer.waits[header.flow_key] = QueueWait(own_vm, service, now)
+            return HoldForServer("queued")
+        if isinstance(outcome, QueueRefusal):
+            return self._refuse_full(header, now)
+        return self._forward(header, outcome, now)
+
+    def _question_about(
+        self, header: PacketHeader, route: Route, service: ServiceName, now: float
+    ) -> PlaceQuestion:
+        """Return the placement request for a SYN packet."""
+        question = PlaceQuestion(
+            self.settings.vm,
+            header.flow_key,
+            service,
+            self._tried_tokens(header),
+            self.load_tracker.expects_many_requests(header.route_address),
+            header.sequence_number,
+        )
+        if not self.queues.is_queued(service):
+            return question
+        has_target = math.isfinite(route.target_latency_s)
+        target_ms = (
+            max(round(route.target_latency_s * MS_PER_S), 1) if has_target else 0
+        )
+        left_ms = round(self.syn_buffer.seconds_left(header, now) * MS_PER_S)
+        return question._replace(
+            priority=route.priority,
+            wait_left_ms=max(left_ms, 1),
+            target_latency_ms=target_ms,
+            was_refused=self._was_refused(header.flow_key, now),
+        )
+
+    def _was_refused(self, flow_key: bytes, now: float) -> bool:
+        """Return whether a flow is taken for the retry of a caller refused here."""
+        retries = self.syn_buffer.retries
+        if flow_key not in retries:
+            if not self.refused_callers.take(caller_of(flow_key), now):
+                return False
+            retries.add(flow_key)
+        return True
+
+    def _tried_tokens(self, header: PacketHeader) -> tuple[int, ...]:
+        flow = self.load_tracker.flow_of_syn(header)
+        return flow.tried_tokens if flow is not None else ()
+
+    def _is_new_copy(self, header: PacketHeader) -> bool:
+        """Return whether a SYN packet is a later copy than the buffered one."""
+        packet = self.syn_buffer.by_flow.get(header.flow_key)
+        if packet is None:
+            return False
+        return header.retransmission_count > packet.header.retransmission_count
+
+    def _leave_queue(self, flow_key: bytes) -> None:
+        """Forget the wait of a flow, also in this VM's own queue."""
+        wait = self.syn_buffer.waits.pop(flow_key, None)
+        if wait is not None and wait.vm == self.settings.vm:
+            self.queues.withdraw(wait.service, flow_key)
+
+    def _settle_packet(self, outcome: QueueOutcome, now: float) -> SettledPacket | None:
+        """Return the decision for a buffered SYN packet, if its caller still waits."""
+        flow_key = outcome.question.flow_key
+        self.syn_buffer.waits.pop(flow_key, None)
+        packet = self.syn_buffer.unexpired_packet(flow_key, now)
+        if packet is None:
+            return None
+        if isinstance(outcome, Granted):
+            decision = self._forward(packet.header, outcome.selection, now)
+            return SettledPacket(packet, decision)
+        if isinstance(outcome, Refused):
+            return SettledPacket(packet, self._refuse_full(packet.header, now))
+        return None
+
+    def _settle_request(self, outcome: QueueOutcome, now: float) -> SettledRequest:
+        """Return the second answer to another VM's placement request."""
+        question = outcome.question
+        if isinstance(outcome, Refused):
+            return SettledRequest(question.sender, refusal_of(question, self.settings))
+        selection = outcome.selection if isinstance(outcome, Granted) else None
+        answer = self.selector.answer(question, selection, now)
+        return SettledRequest(question.sender, answer)
+
+    def _forward(
+        self, header: PacketHeader, selection: Selection, now: float
+    ) -> Decision:
+        """Return the decision to forward a SYN packet to the server selected here."""
         token = selection.entry.token
         self.load_tracker.record_syn(header, token, now)
         self._log_placement(
@@ -211,6 +402,13 @@
             return Drop("copy-refused")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, reason)
 
+    def _refuse_full(self, header: PacketHeader, now: float) -> Decision:
+        """Return the decision for a SYN packet that would get no slot in time."""
+        decision = self._refuse(header, "service-full", now)
+        if isinstance(decision, Reset):
+            self.refused_callers.add(caller_of(header.flow_key), now)
+        return decision
+
     def _decide_without_server(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
--- a/libs/tokens/src/kumquatmux_tokens/waiting.py
+++ b/libs/tokens/src/kumquatmux_tokens/waiting.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
+from kumquatmux_core.identity import ServiceName, VmId
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.sequences import follows_syn
 from kumquatmux_tokens.settings import TokenRouterSettings
@@ -69,16 +70,34 @@
             log_decision("token-unknown", token=token, dropped=len(packets))
 
 
+class QueueWait(NamedTuple):
+    """Wait of a buffered SYN packet's flow in the queue of a placement coordinator.
+
+    Attributes:
+        vm: The coordinator, which may be this VM.
+        service: Service of the flow.
+        asked_at: Time when that VM last said that the flow is queued.
+    """
+
+    vm: VmId
+    service: ServiceName
+    asked_at: float
+
+
 class SynBuffer:
     """SYN packets that wait for a server, at most one for each flow.
 
     Attributes:
         by_flow: The packets by flow key.
+        waits: Waits in the queue of a coordinator by flow key.
+        retries: Keys of flows that are taken for retries of refused callers.
     """
 
     def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.by_flow: dict[bytes, BufferedPacket] = {}
+        self.waits: dict[bytes, QueueWait] = {}
+        self.retries: set[bytes] = set()
 
     def add(self, header: PacketHeader, data: bytes, now: float) -> bool:
         """Buffer a SYN packet; return whether there was room.
@@ -86,22 +105,26 @@
         A retransmission replaces the SYN packet buffered for its flow and keeps its
         deadline.
         """
-        settings = self.settings
-        buffered = self.by_flow.get(header.flow_key)
-        if buffered is None and len(self.by_flow) >= settings.syn_buffer_limit:
+        is_new = header.flow_key not in self.by_flow
+        if is_new and len(self.by_flow) >= self.settings.syn_buffer_limit:
             return False
-        offset_index = min(
-            header.retransmission_count, len(settings.syn_transmission_offsets_s) - 1
-        )
-        first_sent_at = now - settings.syn_transmission_offsets_s[offset_index]
-        expires_at = (
-            buffered.expires_at
-            if buffered
-            else first_sent_at + settings.caller_syn_timeout_s
-        )
+        expires_at = self._expires_at(header, now)
         self.by_flow[header.flow_key] = BufferedPacket(header, data, expires_at)
         return True
 
+    def seconds_left(self, header: PacketHeader, now: float) -> float:
+        """Return the seconds for which the caller of a SYN packet still waits."""
+        return max(self._expires_at(header, now) - now, 0.0)
+
+    def _expires_at(self, header: PacketHeader, now: float) -> float:
+        """Return when the caller gives up, by the first SYN that is known."""
+        buffered = self.by_flow.get(header.flow_key)
+        if buffered is not None:
+            return buffered.expires_at
+        offsets_s = self.settings.syn_transmission_offsets_s
+        copy = min(header.retransmission_count, len(offsets_s) - 1)
+        return now - offsets_s[copy] + self.settings.caller_syn_timeout_s
+
     def unexpired_packet(self, flow_key: bytes, now: float) -> BufferedPacket | None:
         """Return the SYN packet of a flow if its caller still waits."""
         packet = self.by_flow.get(flow_key)
@@ -112,7 +135,7 @@
         for flow_key, packet in list(self.by_flow.items()):
             if packet.expires_at <= now:
                 log_decision("opening-given-up", flow=flow_key.hex())
-                del self.by_flow[flow_key]
+                self.remove(flow_key)
         return list(self.by_flow.values())
 
     def may_be_placed_elsewhere(self, flow_key: bytes, now: float) -> bool:
@@ -135,3 +158,11 @@
     def remove(self, flow_key: bytes) -> None:
         """Remove the SYN packet of a flow."""
         self.by_flow.pop(flow_key, None)
+        self.waits.pop(flow_key, None)
+        self.retries.discard(flow_key)
+
+    def remove_unbuffered(self) -> None:
+        """Forget the waits of flows whose SYN packets found no room."""
+        for flow_key in self.waits.keys() - self.by_flow.keys():
+            del self.waits[flow_key]
+        self.retries &= self.by_flow.keys()
