Serve openings that can be answered in time before late ones

In a burst of one class at twice the capacity the queue served every opening when it was about to expire, and a class whose callers share addresses with a refused class was refused by the retry budget. Within a priority, openings that can still be answered in time go before late ones now. A refusal counts at its route only. The retry budget, one for each priority, limits how many retries go first; beyond it a retry is treated as a first attempt: refused outright, callers used up all three tries within 150 ms.

Tests of libs/tokens, the entry core, intake and the token load pass.

--- a/libs/tokens/src/kumquatmux_tokens/admission_queue.py
+++ b/libs/tokens/src/kumquatmux_tokens/admission_queue.py
@@ -5,6 +5,7 @@
 import math
 from bisect import bisect_left, insort
 from collections import Counter
+from enum import IntEnum
 from typing import NamedTuple
 
 from kumquatmux_placement.retry_budget import RetryBudget
@@ -20,18 +21,30 @@
 """Number of priority classes; lower priorities share the last one."""
 
 
+class Rank(IntEnum):
+    """Order of the openings of a priority class.
+
+    In an overload all slots would else go to those that are about to expire, and every
+    request would be answered late.
+    """
+
+    RETRY = 0
+    IN_TIME = 1
+    LATE = 2
+
+
 class OrderKey(NamedTuple):
     """Place of an opening in its priority class; the least is served first.
 
     Attributes:
-        is_first_attempt: Whether it is no retry of a caller that was refused.
-        expires_at: Time after which the opening is no use to its caller.
+        rank: Rank of the opening.
+        deadline: Time until which it keeps that rank, or is of use to its caller.
         number: Number of the opening, which increases.
         flow_key: 12-byte flow key.
     """
 
-    is_first_attempt: bool
-    expires_at: float
+    rank: Rank
+    deadline: float
     number: int
     flow_key: bytes
 
@@ -42,9 +55,11 @@
     Attributes:
         question: The placement request, with the VM that holds the SYN as its sender.
         priority: Priority class; 0 is the highest.
-        is_retry: Whether its caller was refused before.
-        target_latency_s: Target latency of the route in seconds.
+        rank: Rank of the opening.
         first_sent_at: Time when the caller sent its first SYN.
+        in_time_until: Time until which a slot lets it be answered within the target
+            latency of its route.
+        standing_until: Time until which it may be expected to wait in a standing queue.
         expires_at: Time after which the opening is no use to its caller.
         queued_at: Time when it was queued.
         number: Number of the opening, which increases.
@@ -53,9 +68,10 @@
 
     question: PlaceQuestion
     priority: int
-    is_retry: bool
-    target_latency_s: float
+    rank: Rank
     first_sent_at: float
+    in_time_until: float
+    standing_until: float
     expires_at: float
     queued_at: float
     number: int
@@ -64,9 +80,9 @@
     @property
     def order_key(self) -> OrderKey:
         """Place in its priority class."""
-        return OrderKey(
-            not self.is_retry, self.expires_at, self.number, self.question.flow_key
-        )
+        is_in_time = self.rank is Rank.IN_TIME
+        deadline = self.in_time_until if is_in_time else self.expires_at
+        return OrderKey(self.rank, deadline, self.number, self.question.flow_key)
 
 
 class WaitForecast(NamedTuple):
@@ -95,8 +111,9 @@
     """Queued openings of one service, in the order in which they get slots.
 
     The highest priority goes first, but each lower one with queued openings gets at
-    least one of every ``priority_share_grants`` slots. Within a priority, retries of
-    refused callers go first, then the opening that is useless soonest.
+    least one of every ``priority_share_grants`` slots. Within a priority, some retries
+    of refused callers go first, then openings that can be answered in time, then late
+    ones, each with the earliest deadline first.
 
     Attributes:
         by_flow: The queued openings by flow key.
@@ -105,7 +122,7 @@
             one.
         by_caller: Number of queued openings of each caller address.
         standing: Tells whether the queue is a standing queue.
-        retry_budget: Limit on the retries that may be queued.
+        retry_budgets: Limit on the retries that go first, by priority class.
         refused_callers: Callers that were refused.
         grant_rate: Slots granted recently.
         arrival_rates: Openings queued recently, by priority class.
@@ -120,7 +137,7 @@
         self.passed_over = [0] * PRIORITY_CLASSES
         self.by_caller: Counter[bytes] = Counter()
         self.standing = StandingQueue(rules)
-        self.retry_budget = RetryBudget(rules)
+        self.retry_budgets = [RetryBudget(rules) for _ in range(PRIORITY_CLASSES)]
         self.refused_callers = RefusedCallers(settings)
         window_s = settings.grant_rate_window_s
         self.grant_rate = RecentRate(window_s, now)
@@ -147,6 +164,27 @@
         """Let the VM that asked last hold a queued opening."""
         self.by_flow[question.flow_key] = opening._replace(question=question)
 
+    def rank_of(
+        self, priority: int, in_time_until: float, now: float, *, is_retry: bool
+    ) -> Rank:
+        """Return the rank of a new opening, which counts as an attempt.
+
+        A retry goes first only as far as the retry budget reaches: more of them would
+        make first attempts wait, which then come again too.
+
+        Args:
+            priority: Priority class of the opening.
+            in_time_until: Time until which it can be answered in time.
+            now: Current time in monotonic seconds.
+            is_retry: Whether its caller was refused before.
+        """
+        budget = self.retry_budgets[priority]
+        if not is_retry:
+            budget.record_first_attempt()
+        elif budget.try_take_token():
+            return Rank.RETRY
+        return Rank.IN_TIME if now < in_time_until else Rank.LATE
+
     def position(self, opening: QueuedOpening) -> int:
         """Return the position in strict order of an opening, queued or not."""
         return self._ahead_in_class(opening) + self._ahead_above(opening.priority) + 1
@@ -162,18 +200,17 @@
             has_room: Whether this VM may queue one more opening of any service.
         """
         settings = self.settings
-        if not opening.is_retry:
-            self.retry_budget.record_first_attempt()
         is_full = len(self) >= settings.service_queue_limit or not has_room
         if is_full and self._last_below(opening.priority) is None:
             return "queue-full"
         caller = caller_of(opening.question.flow_key)
         if self.by_caller[caller] >= settings.caller_queue_limit:
             return "caller-share"
-        if self._is_hopeless(opening, self.expected_wait_s(opening, now), now):
+        forecast = self._forecast(opening.priority, now)
+        ahead = self._ahead_in_class(opening)
+        others = len(self.classes[opening.priority])
+        if self._is_hopeless(opening, forecast, ahead, others, now):
             return "wait-too-long"
-        if opening.is_retry and not self.retry_budget.try_take_token():
-            return "retry-budget"
         return ""
 
     def add(
@@ -219,6 +256,17 @@
             self.standing.note_empty()
         return opening
 
+    def note_late(self, now: float) -> None:
+        """Give the openings that cannot be answered in time any more the last rank."""
+        for keys in self.classes:
+            first = bisect_left(keys, (Rank.IN_TIME,))
+            end = bisect_left(keys, (Rank.IN_TIME, now))
+            for key in keys[first:end]:
+                opening = self.by_flow[key.flow_key]._replace(rank=Rank.LATE)
+                self.by_flow[key.flow_key] = opening
+                insort(keys, opening.order_key)
+            del keys[first:end]
+
     def next_opening(self) -> QueuedOpening | None:
         """Return the opening that gets the next slot, None if the queue is empty."""
         waiting = [one for one, keys in enumerate(self.classes) if keys]
@@ -256,16 +304,14 @@
             if not keys:
                 continue
             forecast = self._forecast(priority, now)
-            ahead = 0
-            for key in keys:
-                opening = self.by_flow[key.flow_key]
-                wait_s = forecast.wait_s(ahead)
+            others = len(keys) - 1
+            for ahead in range(len(keys) - 1, -1, -1):
+                opening = self.by_flow[keys[ahead].flow_key]
                 if self.may_be_refused(opening, now) and self._is_hopeless(
-                    opening, wait_s, now
+                    opening, forecast, ahead, others, now
                 ):
                     hopeless.append(opening)
-                else:
-                    ahead += 1
+                    others -= 1
         for opening in hopeless:
             self.remove(opening.question.flow_key)
         return hopeless
@@ -283,19 +329,33 @@
         """Return whether the caller of an opening can have sent no copy of its SYN."""
         return now < opening.first_sent_at + self.settings.syn_transmission_offsets_s[1]
 
-    def _is_hopeless(self, opening: QueuedOpening, wait_s: float, now: float) -> bool:
-        """Return whether an opening gets no slot in time if it waits for some seconds.
+    def _is_hopeless(
+        self,
+        opening: QueuedOpening,
+        forecast: WaitForecast,
+        ahead: int,
+        others: int,
+        now: float,
+    ) -> bool:
+        """Return whether an opening is not expected to get a slot while that is of use.
+
+        If it gets none in time, it waits for the others of its class. In a standing
+        queue that helps for less time, as long as the caller can be refused.
 
-        In a standing queue an opening is refused sooner, while it can be: its slot
-        comes early enough to be answered within the target latency, or it is refused.
+        Args:
+            opening: The opening.
+            forecast: What is expected of the waits in its class.
+            ahead: Number of openings before it in its class.
+            others: Number of other openings in its class.
+            now: Current time in monotonic seconds.
         """
+        if now + forecast.wait_s(ahead) <= opening.in_time_until:
+            return False
+        is_standing = self.standing.is_standing(now)
         useful_until = opening.expires_at
-        if self.standing.is_standing(now) and self.may_be_refused(opening, now):
-            standing_wait_s = (
-                opening.target_latency_s * self.settings.standing_wait_share
-            )
-            useful_until = min(useful_until, opening.first_sent_at + standing_wait_s)
-        return now + wait_s > useful_until
+        if is_standing and self.may_be_refused(opening, now):
+            useful_until = opening.standing_until
+        return now + forecast.wait_s(others) > useful_until
 
     def _forecast(self, priority: int, now: float) -> WaitForecast:
         """Return what the recent rates say of the waits in a priority class.
--- a/libs/tokens/src/kumquatmux_tokens/service_queues.py
+++ b/libs/tokens/src/kumquatmux_tokens/service_queues.py
@@ -17,14 +17,11 @@
 )
 from kumquatmux_tokens.choice import NewFlow, Selection
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
-from kumquatmux_tokens.refused_callers import caller_of
+from kumquatmux_tokens.refused_callers import ROUTE_OFFSET
 from kumquatmux_tokens.routes import RouteTable
 from kumquatmux_tokens.server_selector import ServerSelector
 from kumquatmux_tokens.settings import TokenRouterSettings
 
-ROUTE_ADDRESS_OFFSET = 6
-"""Offset of the route's address in a flow key."""
-
 MS_PER_S = 1000.0
 
 MAX_SKIPPED = 8
@@ -188,7 +185,7 @@
         log_decision(
             "opening-queued",
             **_line_fields(opening),
-            retry=opening.is_retry,
+            rank=opening.rank.name.lower(),
             expected_s=round(expected_s, 3),
         )
         return QueuePlace(opening.position)
@@ -217,6 +214,7 @@
         for opening in queue.evicted:
             yield self._refuse(queue, opening, "queue-full", now)
         queue.evicted.clear()
+        queue.note_late(now)
         for opening in queue.pop_expired(now):
             yield self._refuse(queue, opening, "held-too-long", now)
         yield from self._grants_of(service, queue, now)
@@ -266,20 +264,26 @@
         target_s = question.target_latency_ms / MS_PER_S or math.inf
         left_s = min(question.wait_left_ms / MS_PER_S or caller_s, caller_s)
         if not question.wait_left_ms:
-            route_address = question.flow_key[ROUTE_ADDRESS_OFFSET:]
+            route_address = question.flow_key[ROUTE_OFFSET:]
             route = self.route_table.routes.get(route_address)
             if route is not None:
                 priority, target_s = route.priority, route.target_latency_s
         first_sent_at = now + left_s - caller_s
-        useful_s = min(caller_s, target_s * settings.target_wait_factor)
-        was_refused = queue.refused_callers.take(caller_of(question.flow_key), now)
+        in_time_until = first_sent_at + min(
+            caller_s, target_s * settings.in_time_wait_share
+        )
+        is_retry = queue.refused_callers.take(question.flow_key, now)
+        priority = min(max(priority, 0), PRIORITY_CLASSES - 1)
         return QueuedOpening(
             question,
-            min(max(priority, 0), PRIORITY_CLASSES - 1),
-            was_refused or question.was_refused,
-            target_s,
+            priority,
+            queue.rank_of(
+                priority, in_time_until, now, is_retry=is_retry or question.was_refused
+            ),
             first_sent_at,
-            first_sent_at + useful_s,
+            in_time_until,
+            first_sent_at + min(caller_s, target_s * settings.standing_wait_factor),
+            first_sent_at + min(caller_s, target_s * settings.target_wait_factor),
             now,
             next(self.numbers),
         )
@@ -300,7 +304,7 @@
     ) -> None:
         self.counts[f"queue.refused.{reason}"] += 1
         if queue.may_be_refused(opening, now):
-            queue.refused_callers.add(caller_of(opening.question.flow_key), now)
+            queue.refused_callers.add(opening.question.flow_key, now)
         log_decision(
             "opening-refused",
             **_line_fields(opening),
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -68,10 +68,12 @@
         grant_rate_min_s: Seconds of a queue's life before its grants tell that.
         priority_share_grants: Number of slots of which a lower priority with queued
             openings gets at least one.
-        target_wait_factor: Factor of a route's target latency that an opening may wait;
-            an answer after twice the target is taken to be of little use.
-        standing_wait_share: Share of the target latency that an opening is expected to
-            wait at most in a standing queue; the rest is for the request itself.
+        in_time_wait_share: Share of a route's target latency that an opening may wait
+            to be answered in time; the rest is for the request itself.
+        target_wait_factor: Factor of the target latency that an opening may wait; a
+            later answer is taken to be of little use.
+        standing_wait_factor: Factor of the target latency that an opening is expected
+            to wait at most in a standing queue.
         refused_callers_limit: Limit of remembered addresses of refused callers.
         refused_caller_s: Seconds for which a refused caller may come again.
         queue_refresh_s: Seconds after which a VM asks again for an opening that waits
@@ -162,8 +164,9 @@
     grant_rate_window_s: float = 0.5
     grant_rate_min_s: float = 0.1
     priority_share_grants: int = 8
+    in_time_wait_share: float = 0.5
     target_wait_factor: float = 2.0
-    standing_wait_share: float = 0.5
+    standing_wait_factor: float = 1.0
     refused_callers_limit: int = 4096
     refused_caller_s: float = 5.0
     queue_refresh_s: float = 1.0
--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -20,7 +20,7 @@
     Reset,
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
-from kumquatmux_tokens.refused_callers import RefusedCallers, caller_of
+from kumquatmux_tokens.refused_callers import RefusedCallers
 from kumquatmux_tokens.routes import Route, RouteTable
 from kumquatmux_tokens.service_queues import (
     MS_PER_S,
@@ -309,7 +309,7 @@
         """Return whether a flow is taken for the retry of a caller refused here."""
         retries = self.syn_buffer.retries
         if flow_key not in retries:
-            if not self.refused_callers.take(caller_of(flow_key), now):
+            if not self.refused_callers.take(flow_key, now):
                 return False
             retries.add(flow_key)
         return True
@@ -406,7 +406,7 @@
         """Return the decision for a SYN packet that would get no slot in time."""
         decision = self._refuse(header, "service-full", now)
         if isinstance(decision, Reset):
-            self.refused_callers.add(caller_of(header.flow_key), now)
+            self.refused_callers.add(header.flow_key, now)
         return decision
 
     def _decide_without_server(
