Have the successor of a coordinator grant slots once it knows the load

When a coordinator failed, the openings of its queue came to the successor at once. The other VMs report load to the coordinator only, so that all servers seemed free to it; so they did to a coordinator that went on after a freeze, and to one that was replaced and still held openings. And when the backoff from a dead VM ended, every queued opening left its queue to ask that VM again. Now a question says that its opening was queued elsewhere. A VM that takes over, or goes on after a pause, grants nothing for one report interval, the placement timeout and the grant interval. A queued opening stays where it is until the preferred coordinator has answered, and takes no grant of a coordinator that was replaced.

--- a/libs/tokens/src/kumquatmux_tokens/admission_queue.py
+++ b/libs/tokens/src/kumquatmux_tokens/admission_queue.py
@@ -127,6 +127,10 @@
         grant_rate: Slots granted recently.
         arrival_rates: Openings queued recently, by priority class.
         evicted: Openings that others displaced; the reader clears it.
+        granting_from: Time from which slots are granted; later than now after a
+            takeover, until the load of the servers is known.
+        settled_at: Time since which this VM has granted slots without a pause, as far
+            as any were free, or has had nobody to grant them to.
     """
 
     def __init__(self, settings: TokenRouterSettings, now: float) -> None:
@@ -145,6 +149,8 @@
             RecentRate(window_s, now) for _ in range(PRIORITY_CLASSES)
         ]
         self.evicted: list[QueuedOpening] = []
+        self.granting_from = -math.inf
+        self.settled_at = -math.inf
 
     def __len__(self) -> int:
         return len(self.by_flow)
@@ -223,7 +229,8 @@
         """
         self.remove(opening.question.flow_key)
         if not self:
-            self._start_counting(now)
+            self._start_counting(max(now, self.granting_from))
+            self.settled_at = now
         if len(self) >= self.settings.service_queue_limit or not has_room:
             self._evict_last_below(opening.priority)
         placed = opening._replace(position=self.position(opening))
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -34,6 +34,8 @@
             has none.
         was_refused: Whether the flow seems to be the retry of a caller that was refused
             at the requesting VM.
+        was_queued: Whether the flow waited in the queue of another coordinator, which
+            the answering VM succeeds.
     """
 
     sender: VmId
@@ -46,6 +48,7 @@
     wait_left_ms: int = 0
     target_latency_ms: int = 0
     was_refused: bool = False
+    was_queued: bool = False
 
 
 class PlaceAnswer(NamedTuple):
@@ -136,6 +139,20 @@
                 return vm
         return own_vm
 
+    def coordinator_after(self, vm: VmId, service: ServiceName, now: float) -> VmId:
+        """Return the coordinator for a flow that waits in the queue of one.
+
+        It stays there while that VM answers and the preferred one has not answered
+        since it left a request unanswered: a try at each end of its backoff would take
+        all that wait out of the queue.
+        """
+        coordinator = self.coordinator_for(service, now)
+        backoff = self.backoffs.get(vm)
+        is_avoided = backoff is not None and backoff.expires_at > now
+        is_unproven = coordinator in self.backoffs
+        stays = is_unproven and not is_avoided and vm in self.entry_vms
+        return vm if stays else coordinator
+
     def record_request(self, vm: VmId, flow_key: bytes, now: float) -> None:
         """Record that a placement request was sent."""
         self.pending_requests[flow_key] = PendingRequest(vm, now)
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -104,7 +104,9 @@
             settings, self.directory, self.load_tracker, self.coordinators
         )
         self.selector = ServerSelector(settings, random, self.pools, self.recent)
-        self.queues = ServiceQueues(settings, self.route_table, self.selector)
+        self.queues = ServiceQueues(
+            settings, self.route_table, self.selector, self.coordinators
+        )
         self.syn_router = SynRouter(
             settings,
             self.route_table,
--- a/libs/tokens/src/kumquatmux_tokens/service_queues.py
+++ b/libs/tokens/src/kumquatmux_tokens/service_queues.py
@@ -16,7 +16,11 @@
     QueuedOpening,
 )
 from kumquatmux_tokens.choice import NewFlow, Selection
-from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
+from kumquatmux_tokens.placers import (
+    CoordinatorSelector,
+    PlaceAnswer,
+    PlaceQuestion,
+)
 from kumquatmux_tokens.refused_callers import ROUTE_OFFSET
 from kumquatmux_tokens.routes import RouteTable
 from kumquatmux_tokens.server_selector import ServerSelector
@@ -96,10 +100,12 @@
         settings: TokenRouterSettings,
         route_table: RouteTable,
         selector: ServerSelector,
+        coordinators: CoordinatorSelector,
     ) -> None:
         self.settings = settings
         self.route_table = route_table
         self.selector = selector
+        self.coordinators = coordinators
         self.by_service: dict[ServiceName, AdmissionQueue] = {}
         self.counts: Counter[str] = Counter()
         self.numbers = count(1)
@@ -111,10 +117,12 @@
         """Return whether openings wait, or some that others displaced are refused."""
         return any(one.by_flow or one.evicted for one in self.by_service.values())
 
-    def has_waiting(self, service: ServiceName) -> bool:
-        """Return whether openings of a service wait in its queue."""
+    def must_wait(self, service: ServiceName, now: float) -> bool:
+        """Return whether new openings of a service have to wait for others."""
         queue = self.by_service.get(service)
-        return queue is not None and bool(queue.by_flow)
+        if queue is None:
+            return False
+        return bool(queue.by_flow) or now < queue.granting_from
 
     def holds(self, service: ServiceName, flow_key: bytes) -> bool:
         """Return whether a flow waits in the queue of a service."""
@@ -150,7 +158,9 @@
         """
         new_flow = new_flow_of(question, now)
         flow_key, service = question.flow_key, question.service
-        if self.has_waiting(service):
+        if question.was_queued and self.is_queued(service):
+            self._note_takeover(service, now)
+        if self.must_wait(service, now):
             recent = self.selector.recent_selection(flow_key, service, new_flow)
             return recent or self.enqueue(question, now)
         selection = self.selector.select(flow_key, service, new_flow)
@@ -164,10 +174,7 @@
 
     def enqueue(self, question: PlaceQuestion, now: float) -> QueuePlace | QueueRefusal:
         """Queue a flow for which there is no slot, or refuse it."""
-        queue = self.by_service.get(question.service)
-        if queue is None:
-            queue = AdmissionQueue(self.settings, now)
-            self.by_service[question.service] = queue
+        queue = self._queue_of(question.service, now)
         known = queue.find(question)
         if known is not None:
             queue.update(known, question)
@@ -204,19 +211,24 @@
         """Forget the queues that are empty and remember no refused caller."""
         for service, queue in list(self.by_service.items()):
             queue.refused_callers.remove_expired(now)
-            is_unused = not queue.by_flow and not queue.evicted
-            if is_unused and not queue.refused_callers.by_caller:
+            is_used = queue.by_flow or queue.evicted or now < queue.granting_from
+            if not is_used and not queue.refused_callers.by_caller:
                 del self.by_service[service]
 
     def _outcomes_of(
         self, service: ServiceName, queue: AdmissionQueue, now: float
     ) -> Iterator[QueueOutcome]:
+        if now - queue.settled_at > self._takeover_s():
+            self._await_reports(queue, now)
+        queue.settled_at = now
         for opening in queue.evicted:
             yield self._refuse(queue, opening, "queue-full", now)
         queue.evicted.clear()
         queue.note_late(now)
         for opening in queue.pop_expired(now):
             yield self._refuse(queue, opening, "held-too-long", now)
+        if now < queue.granting_from:
+            return
         yield from self._grants_of(service, queue, now)
         for opening in queue.pop_hopeless(now):
             yield self._refuse(queue, opening, "wait-too-long", now)
@@ -251,6 +263,35 @@
             for opening in skipped:
                 queue.put(opening)
 
+    def _queue_of(self, service: ServiceName, now: float) -> AdmissionQueue:
+        queue = self.by_service.get(service)
+        if queue is None:
+            queue = self.by_service[service] = AdmissionQueue(self.settings, now)
+        return queue
+
+    def _note_takeover(self, service: ServiceName, now: float) -> None:
+        """Grant no slot until other VMs have reported the load, if this VM takes over.
+
+        Those that wait come at once, and without the reports all servers would seem to
+        be free.
+        """
+        queue = self._queue_of(service, now)
+        if now - queue.settled_at > self._takeover_s():
+            self._await_reports(queue, now)
+
+    def _await_reports(self, queue: AdmissionQueue, now: float) -> None:
+        """Grant no slot until other VMs have reported the load, which takes a moment.
+
+        They have reported none to this VM before a takeover or during a pause.
+        """
+        if self.coordinators.has_other_vms and now >= queue.granting_from:
+            queue.granting_from = now + self._takeover_s()
+
+    def _takeover_s(self) -> float:
+        settings = self.settings
+        report_s = settings.report_interval_s(len(self.coordinators.entry_vms))
+        return report_s + settings.placement_timeout_s + settings.grant_interval_s
+
     def _describe(
         self, question: PlaceQuestion, queue: AdmissionQueue, now: float
     ) -> QueuedOpening:
--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -126,22 +126,43 @@
             entry = self.directory.running_entry(flow.token)
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, entry.token)
+        wait = self.syn_buffer.waits.get(header.flow_key)
         if header.flow_key in self.coordinators.pending_requests:
             if self.coordinators.is_pending(header.flow_key, now):
                 return HoldForServer("asked")
-            if self.syn_buffer.waits.pop(header.flow_key, None) is None:
+            if wait is None:
                 return self._place_locally(header, service, now)
         if self.is_queued(header, now):
             return HoldForServer("queued")
-        coordinator = self.coordinators.coordinator_for(service, now)
+        coordinator = self._coordinator_for(wait, service, now)
+        was_queued = wait is not None and wait.vm != coordinator
+        if was_queued:
+            self._leave_queue(header.flow_key)
+            wait = QueueWait(coordinator, service, now)
+            self.syn_buffer.waits[header.flow_key] = wait
         if coordinator == self.settings.vm:
-            return self._place_as_coordinator(header, route, service, now)
+            if not was_queued and not self.queues.must_wait(service, now):
+                decision = self._place_locally(header, service, now)
+                if decision != NO_SLOT or not self.queues.is_queued(service):
+                    return decision
+            question = self._question_about(header, route, service, now)
+            question = question._replace(was_queued=was_queued)
+            return self._place_in_queue(header, question, now)
         if self._is_placement_paused(service, now):
             return NO_SLOT
         self.coordinators.record_request(coordinator, header.flow_key, now)
         question = self._question_about(header, route, service, now)
+        if was_queued:
+            question = question._replace(was_queued=True)
         return RequestPlacement(coordinator, question)
 
+    def _coordinator_for(
+        self, wait: QueueWait | None, service: ServiceName, now: float
+    ) -> VmId:
+        if wait is None:
+            return self.coordinators.coordinator_for(service, now)
+        return self.coordinators.coordinator_after(wait.vm, service, now)
+
     def is_queued(self, header: PacketHeader, now: float) -> bool:
         """Return whether a SYN packet's flow waits in a queue and nothing is due.
 
@@ -154,11 +175,10 @@
         if wait is None or flow_key in self.coordinators.pending_requests:
             return False
         own_vm = self.settings.vm
-        coordinator = self.coordinators.coordinator_for(wait.service, now)
+        coordinator = self.coordinators.coordinator_after(wait.vm, wait.service, now)
         if wait.vm == own_vm and coordinator == own_vm:
             return self.queues.holds(wait.service, flow_key)
         if wait.vm != coordinator:
-            self._leave_queue(flow_key)
             return False
         if now - wait.asked_at >= self.settings.queue_refresh_s:
             return False
@@ -193,14 +213,15 @@
         packet = self.syn_buffer.unexpired_packet(flow_key, now)
         if packet is None:
             return None
+        # A coordinator that was replaced knows the load on the servers no more.
         wait = self.syn_buffer.waits.get(flow_key)
         is_of_queue = wait is not None and wait.vm == answer.sender
         if is_of_queue or answer.queue_position:
             self.queue_heard_at[answer.sender] = now
+        if wait is not None and not is_of_queue and not is_asked:
+            return None
         if answer.is_refused:
-            is_asked_elsewhere = flow_key in self.coordinators.pending_requests
-            is_current = is_asked or (is_of_queue and not is_asked_elsewhere)
-            return packet if is_current else None
+            return packet if is_of_queue or is_asked else None
         route = self.route_table.routes.get(packet.header.route_address)
         service = route.select_service(flow_key) if route else ServiceName("")
         if answer.is_full:
@@ -255,18 +276,11 @@
             return NO_SLOT
         return self._forward(header, selection, now)
 
-    def _place_as_coordinator(
-        self, header: PacketHeader, route: Route, service: ServiceName, now: float
+    def _place_in_queue(
+        self, header: PacketHeader, question: PlaceQuestion, now: float
     ) -> Decision:
-        """Return the decision for a SYN packet of a service that this VM places.
-
-        If its openings wait in a queue, or would have to, it joins them there.
-        """
-        if not self.queues.has_waiting(service):
-            decision = self._place_locally(header, service, now)
-            if decision != NO_SLOT or not self.queues.is_queued(service):
-                return decision
-        question = self._question_about(header, route, service, now)
+        """Return the decision for a SYN packet that joins this VM's own queue."""
+        service = question.service
         outcome = self.queues.place(question, now)
         if outcome is None:
             return self._decide_without_server(header, service, now)
--- a/libs/tokens/tests/test_service_queues.py
+++ b/libs/tokens/tests/test_service_queues.py
@@ -299,8 +299,8 @@
     flow_key = syn(1, route=BULK).flow_key
     old = PlaceQuestion("e2", flow_key, "entries", (), False, 100)
     body = codec.encode(old)
-    # The four new fields take one byte each if they say nothing.
-    header, fields = body[:3], body[4:-4]
+    # The five new fields take one byte each if they say nothing.
+    header, fields = body[:3], body[4:-5]
     read = codec.decode(header + bytes([0x96]) + fields).ok
     assert read == old
     answer = router.answer_placement_request(read, NOW_S)
@@ -532,7 +532,7 @@
     stale = PlaceAnswer(vm, syn().flow_key, 0, True, 0, is_refused=True)
     assert router.process_placement_answer(stale, NOW_S + 0.07) is None
     assert router.process_placement_answer(queued_answer(vm, syn()), NOW_S) is None
-    assert syn().flow_key not in router.syn_buffer.waits
+    assert router.syn_buffer.waits[syn().flow_key].vm == successor
 
 
 def test_a_grant_for_a_caller_that_gave_up_places_nothing():
@@ -544,15 +544,20 @@
     assert router.load_tracker.flows == {}
 
 
-def test_a_second_grant_of_another_queue_places_nothing():
-    """Guards against a flow at two servers after a change of the coordinator."""
+def test_a_grant_of_a_former_coordinator_places_nothing():
+    """Guards against floods by a VM that hears of no load since it was replaced."""
     router, vm, successor = asking_router()
     wait_in_queue(router, vm, syn())
-    for number, sender in enumerate((successor, vm)):
+    router.coordinators.record_request(vm, b"x" * 12, NOW_S)
+    assert not router.coordinators.is_pending(b"x" * 12, NOW_S + 0.05)
+    moved = open_flow(router, syn(), NOW_S + 0.06)
+    assert (moved.coordinator, moved.request.was_queued) == (successor, True)
+    for sender in (vm, successor, vm):
         answer = PlaceAnswer(sender, syn().flow_key, server().token, False, 7)
         held = router.process_placement_answer(answer, NOW_S + 0.1)
-        assert (held is not None) == (number == 0)
-        router.syn_buffer.remove(syn().flow_key)
+        assert (held is not None) == (sender == successor)
+        if held is not None:
+            router.syn_buffer.remove(syn().flow_key)
 
 
 def test_the_slots_of_a_dead_asking_vm_are_free_again_after_its_reservations():
@@ -583,6 +588,64 @@
     ]
 
 
+def zone_of(router):
+    """Make a router one of five VMs."""
+    router.coordinators.set_entry_vms(tuple(f"e{one}" for one in range(1, 6)))
+    return router
+
+
+def test_a_successor_grants_nothing_until_it_has_heard_of_the_load():
+    """Guards against a flood at servers that seem free to a VM that just took over.
+
+    The other VMs report the load to their coordinator only, within a report interval.
+    """
+    router = zone_of(make_router())
+    for port in range(20):
+        answer = ask(router, port, wait_left_ms=1000, was_queued=True)
+        assert answer.queue_position == port + 1
+    assert ask(router, 100, NOW_S + 0.01).queue_position > 0
+    for step in range(5):
+        assert router.settle_queues(NOW_S + step * 0.02) == []
+    set_load(router, FULL - 3)
+    assert len(granted_flows(router.settle_queues(NOW_S + 0.11))) == 3
+
+
+def test_a_coordinator_that_serves_a_queue_goes_on_when_others_join():
+    """Guards against a pause for each opening that comes from another queue."""
+    router = zone_of(full_router())
+    ask(router, 1)
+    router.settle_queues(NOW_S + 0.02)
+    ask(router, 2, NOW_S + 0.03, was_queued=True)
+    set_load(router, FULL - 2)
+    assert len(granted_flows(router.settle_queues(NOW_S + 0.04))) == 2
+
+
+def test_a_coordinator_that_froze_waits_for_news_of_the_load():
+    """Guards against grants by what a VM knew before its pause."""
+    router = zone_of(full_router())
+    for step in range(5):
+        ask(router, step, NOW_S + step * 0.02)
+        router.settle_queues(NOW_S + step * 0.02)
+    set_load(router, 0)
+    resumed_at = NOW_S + 0.7
+    assert router.settle_queues(resumed_at) == []
+    assert router.settle_queues(resumed_at + 0.02) == []
+    assert len(granted_flows(router.settle_queues(resumed_at + 0.11))) == 5
+
+
+def test_queued_openings_stay_until_the_preferred_coordinator_answers():
+    """Guards against all openings that leave their queue when a backoff ends."""
+    router, vm, successor = asking_router()
+    router.coordinators.record_request(vm, b"x" * 12, NOW_S)
+    assert not router.coordinators.is_pending(b"x" * 12, NOW_S + 0.05)
+    wait_in_queue(router, successor, syn(1), NOW_S + 0.9)
+    assert router.coordinators.coordinator_for("entries", NOW_S + 1.1) == vm
+    assert router.route_packet(syn(1), NOW_S + 1.1) == QUEUED
+    router.coordinators.record_answer(vm, b"x" * 12)
+    moved = router.route_packet(syn(1), NOW_S + 1.12)
+    assert (moved.coordinator, moved.request.was_queued) == (vm, True)
+
+
 def _is_refusal(settled):
     return isinstance(settled, SettledRequest) and settled.answer.is_refused
 
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -51,7 +51,7 @@
     "FlowAnswer": (("seen_token",),),
     "PlaceQuestion": (
         ("sequence_number",),
-        ("priority", "wait_left_ms", "target_latency_ms", "was_refused"),
+        ("priority", "wait_left_ms", "target_latency_ms", "was_refused", "was_queued"),
     ),
     "PlaceAnswer": (("queue_position", "is_refused"),),
 }
