Play bursts and failures on the queue of a service in the load model

The load model had one class of requests and one caller address, and VMs could only die. It takes classes with a priority and a target each now, caller addresses, and VMs that freeze or are cut off. Patterns of one class play as before, with the same random numbers.

--- a/libs/lab/src/kumquatmux_lab/token_load/model.py
+++ b/libs/lab/src/kumquatmux_lab/token_load/model.py
@@ -13,7 +13,13 @@
 from kumquatmux_daemons.token_entry.core import EntryCore
 from kumquatmux_daemons.token_entry.effects import Effect, Probe, Sent
 from kumquatmux_daemons.token_entry.settings import EntrySettings
-from kumquatmux_lab.token_load.wire import SERVICE, Packet, TextFormat, decode
+from kumquatmux_lab.token_load.wire import (
+    SERVICE,
+    Packet,
+    RequestClass,
+    TextFormat,
+    decode,
+)
 from kumquatmux_registry.feed import FeedAnswer
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.probes import ProbeResult
@@ -40,6 +46,8 @@
         budget_s: Seconds after which a caller has no use for an answer.
         late_worth: Worth of a late answer; one in time is worth 1.
         tries: Flows that a caller opens for a request at most.
+        classes: Classes of requests; one with the figures above if left out.
+        callers: Number of caller addresses; 0 for one that all callers share.
         caller_s: Seconds one way between a caller and its zone.
         far_s: Seconds one way between zones.
     """
@@ -53,9 +61,16 @@
     budget_s: float = 2.2
     late_worth: float = 0.5
     tries: int = 3
+    classes: tuple[RequestClass, ...] = ()
+    callers: int = 0
     caller_s: float = 0.003
     far_s: float = 0.0035
 
+    def request_classes(self) -> tuple[RequestClass, ...]:
+        """Return the classes of requests."""
+        one = RequestClass(0, self.work_s, self.target_s, self.budget_s)
+        return self.classes or (one,)
+
 
 class Server:
     """A backend server with slots and a queue.
@@ -78,14 +93,22 @@
         zone: Zone of the caller.
         asked_at: When it was first sent.
         work_s: Seconds of work.
+        kind: Number of its class.
+        caller: Number of its caller's address, 0 for the one that all share.
+        refused_s: Seconds after its first SYN at which each of its flows was reset.
         vms: Entry VMs that the packets of each flow begun so far reach.
         done_at: When its answer arrived, None before.
     """
 
-    def __init__(self, zone: int, asked_at: float, work_s: float) -> None:
+    def __init__(
+        self, zone: int, asked_at: float, work_s: float, kind: int, caller: int
+    ) -> None:
         self.zone = zone
         self.asked_at = asked_at
         self.work_s = work_s
+        self.kind = kind
+        self.caller = caller
+        self.refused_s: list[float] = []
         self.vms: list[VmId] = []
         self.done_at: float | None = None
 
@@ -98,9 +121,11 @@
         vm: Entry VM that its packets reach.
         token: Server at which it is open, 0 before.
         is_over: Whether its caller has turned away from it.
+        opened_at: When its first SYN was sent.
     """
 
-    def __init__(self, request: Request, vm: VmId) -> None:
+    def __init__(self, request: Request, vm: VmId, opened_at: float) -> None:
+        self.opened_at = opened_at
         self.request = request
         request.vms.append(vm)
         self.vm = vm
@@ -118,6 +143,8 @@
         requests: All requests.
         shed: Requests that servers refused.
         messages: Messages that entry VMs sent, to control VMs too.
+        frozen_until: When each frozen entry VM goes on.
+        cut_off: Entry VMs that no message of another VM reaches, nor the reverse.
     """
 
     def __init__(self, settings: LoadSettings, seed: int) -> None:
@@ -133,6 +160,8 @@
         self.flows: dict[int, Flow] = {}
         self.shed = 0
         self.messages = 0
+        self.frozen_until: dict[VmId, float] = {}
+        self.cut_off: set[VmId] = set()
         for zone, servers in enumerate(settings.servers):
             for number in range(servers):
                 server = Server(_record(zone, number, settings.slots))
@@ -159,7 +188,9 @@
         settings = EntrySettings(
             vm, _zone(zone), NOWHERE, NOWHERE, NOWHERE, NOWHERE, (CONTROL,)
         )
-        core = EntryCore(settings, TextFormat(), self.random, self.now)
+        core = EntryCore(
+            settings, TextFormat(self.settings.request_classes()), self.random, self.now
+        )
         self.cores[vm] = core
         self.ticks_at.pop(vm, None)
         self._plan_tick(vm, core)
@@ -180,39 +211,64 @@
         """Return how many placement requests the entry VMs sent."""
         return sum(one.counts["openings.asked"] for one in self.cores.values())
 
-    def ask(self, zone: int, asked_at: float, work_s: float | None = None) -> None:
+    def freeze(self, vm: VmId, until: float) -> None:
+        """Stop an entry VM; what comes meanwhile waits until it goes on."""
+        self.frozen_until[vm] = until
+
+    def ask(
+        self, zone: int, asked_at: float, work_s: float | None = None, kind: int = 0
+    ) -> None:
         """Let a caller of a zone send a request at a time.
 
         Args:
             zone: The zone.
             asked_at: The time.
             work_s: Seconds of work; random around the mean if left out.
+            kind: Number of its class.
         """
         if work_s is None:
-            work_s = self.settings.work_s * self.random.lognormvariate(-0.125, 0.5)
-        request = Request(zone, asked_at, work_s)
+            mean_s = self.settings.request_classes()[kind].work_s
+            work_s = mean_s * self.random.lognormvariate(-0.125, 0.5)
+        callers = self.settings.callers
+        caller = 1 + len(self.requests) % callers if callers else 0
+        request = Request(zone, asked_at, work_s, kind, caller)
         self.requests.append(request)
         self.at(asked_at, self._open, request)
 
-    def worth(self, since: float, until: float) -> float:
-        """Return the mean worth of the requests first sent between two times."""
-        worths = [
-            self._worth_of(one)
+    def worth(self, since: float, until: float, kind: int | None = None) -> float:
+        """Return the mean worth of the requests first sent between two times.
+
+        Args:
+            since: The first time.
+            until: The second time.
+            kind: Number of the class of requests; all if left out.
+        """
+        requests = self.requests_between(since, until, kind)
+        return sum(map(self.worth_of, requests)) / len(requests)
+
+    def requests_between(
+        self, since: float, until: float, kind: int | None = None
+    ) -> list[Request]:
+        """Return the requests first sent between two times, of a class or of all."""
+        return [
+            one
             for one in self.requests
-            if since <= one.asked_at < until
+            if since <= one.asked_at < until and kind in (None, one.kind)
         ]
-        return sum(worths) / len(worths)
 
-    def _worth_of(self, request: Request) -> float:
+    def worth_of(self, request: Request) -> float:
+        """Return the worth of a request's answer, 0 if there is none of use."""
         if request.done_at is None:
             return 0.0
+        one = self.settings.request_classes()[request.kind]
         took_s = request.done_at - request.asked_at
-        if took_s <= self.settings.target_s:
+        if took_s <= one.target_s:
             return 1.0
-        return self.settings.late_worth if took_s <= self.settings.budget_s else 0.0
+        return self.settings.late_worth if took_s <= one.budget_s else 0.0
 
     def _open(self, request: Request) -> None:
-        has_time = self.now - request.asked_at < self.settings.budget_s
+        budget_s = self.settings.request_classes()[request.kind].budget_s
+        has_time = self.now - request.asked_at < budget_s
         if (
             request.done_at is not None
             or len(request.vms) >= self.settings.tries
@@ -221,7 +277,7 @@
             return
         vm = self.random.choice(self.vm_names(request.zone))
         number = next(self.numbers)
-        flow = self.flows[number] = Flow(request, vm)
+        flow = self.flows[number] = Flow(request, vm, self.now)
         for copy, after_s in enumerate(COPIES_S):
             self.at(self.now + after_s, self._send_opening, number, copy)
         self.at(self.now + OPENING_S, self._give_up, flow)
@@ -242,16 +298,26 @@
 
     def _to_vm(self, flow: Flow, packet: Packet) -> None:
         arrives_at = self.now + self.settings.caller_s
-        self.at(arrives_at, self._packet, flow.vm, packet.encode())
+        sent = packet._replace(route=flow.request.kind, caller=flow.request.caller)
+        self.at(arrives_at, self._packet, flow.vm, sent.encode())
+
+    def _waits(self, vm: VmId, act: Callable[..., None], *given: Any) -> bool:
+        """Return whether a VM is frozen, in which case something happens later."""
+        until = self.frozen_until.get(vm, 0.0)
+        if until > self.now:
+            self.at(until, act, *given)
+        return until > self.now
 
     def _packet(self, vm: VmId, data: bytes) -> None:
         core = self.cores.get(vm)
-        if core is not None:
+        if core is not None and not self._waits(vm, self._packet, vm, data):
             self._carry_out(vm, core.packet(data, self.now))
 
     def _message(self, sender: VmId, vm: VmId, message: Any) -> None:
         core = self.cores.get(vm)
-        if core is not None:
+        if vm in self.cut_off or sender in self.cut_off:
+            return
+        if core is not None and not self._waits(vm, self._message, sender, vm, message):
             self._carry_out(vm, core.message(sender, message, self.now))
 
     def _plan_tick(self, vm: VmId, core: EntryCore) -> None:
@@ -262,6 +328,8 @@
             self.at(due_at, self._tick, vm, core, due_at)
 
     def _tick(self, vm: VmId, core: EntryCore, planned_at: float) -> None:
+        if self._waits(vm, self._tick, vm, core, planned_at):
+            return
         if self.cores.get(vm) is core and self.ticks_at.get(vm) == planned_at:
             del self.ticks_at[vm]
             self._carry_out(vm, core.tick(self.now))
@@ -286,6 +354,7 @@
             packet = decode(effect.data)
             flow = self.flows[packet.flow]
             if packet.kind == "reset":
+                flow.request.refused_s.append(self.now - flow.opened_at)
                 arrives_at = self.now + self.settings.caller_s
                 self.at(arrives_at, self._try_again, flow)
             else:
--- a/libs/lab/src/kumquatmux_lab/token_load/patterns.py
+++ b/libs/lab/src/kumquatmux_lab/token_load/patterns.py
@@ -18,6 +18,19 @@
         model.ask(model.random.randrange(zones), now)
 
 
+def class_arrivals(
+    model: LoadModel, kind: int, load: float, since: float, until: float
+) -> None:
+    """Add requests of one class at random times, at a share of what servers can do."""
+    settings = model.settings
+    slots = sum(settings.servers) * settings.slots
+    zones = len(settings.servers)
+    work_s = settings.request_classes()[kind].work_s
+    now = since
+    while (now := now + model.random.expovariate(load * slots / work_s)) < until:
+        model.ask(model.random.randrange(zones), now, kind=kind)
+
+
 def start_all(model: LoadModel, at: float, fed_at: float) -> None:
     """Start all entry VMs at a time; later they learn the document and the servers."""
     for zone in range(len(model.settings.servers)):
@@ -59,3 +72,34 @@
     arrivals(model, 0.4, 2.0 + for_s, 5.0 + for_s)
     model.run(10.0 + for_s)
     return model
+
+
+BURST_STARTS_AT_S = 1.5
+"""When the burst of a class begins, after half a second of the base load alone."""
+
+
+def class_burst(
+    seed: int,
+    settings: LoadSettings,
+    base_loads: tuple[float, ...],
+    burst_kind: int,
+    for_s: float = 3.0,
+    burst_load: float = 2.0,
+) -> LoadModel:
+    """Return a model with a burst of one class over a base load of all, not yet run.
+
+    Args:
+        seed: Seed of the random numbers.
+        settings: Size and figures of the model.
+        base_loads: Share of what the servers can do, by class.
+        burst_kind: Number of the class that bursts.
+        for_s: Seconds of the burst.
+        burst_load: Load of the burst, as such a share.
+    """
+    model = LoadModel(settings, seed)
+    start_all(model, 0.0, 0.3)
+    burst_ends_at = BURST_STARTS_AT_S + for_s
+    for kind, load in enumerate(base_loads):
+        class_arrivals(model, kind, load, 1.0, burst_ends_at + 1.0)
+    class_arrivals(model, burst_kind, burst_load, BURST_STARTS_AT_S, burst_ends_at)
+    return model
