--- a/libs/daemons/tests/test_intake.py
+++ b/libs/daemons/tests/test_intake.py
@@ -54,6 +54,7 @@
 from kumquatmux_storage.memory import MemoryDisk
 from kumquatmux_storage.store import Identity, open_or_create
 from kumquatmux_tokens.messages import MESSAGE_TYPES as TOKEN_MESSAGES
+from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.questions import FlowAnswer, FlowOpened, FlowQuestion
 from kumquatmux_tokens.work import LoadShare, ServerLoad
 
@@ -620,3 +621,22 @@
     assert record_problem(record) == ""
     assert packets.names_server(record.report.lifetime.name)
     assert SOFT.decode(SOFT.encode(TokenAnswer(PEER, record))).ok.record == record
+
+
+# Guards against a number of another VM that the queue of a service cannot order by.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"priority": -1},
+        {"priority": NUMBER_LIMIT},
+        {"wait_left_ms": -1},
+        {"target_latency_ms": NUMBER_LIMIT},
+    ],
+)
+def test_a_placement_request_with_numbers_out_of_bounds_is_refused(changes):
+    question = PlaceQuestion(PEER, ROUTED_FLOW, "s", (), False, 1, 7, 1400, 500)
+    assert take_in(PEER, question).is_ok()
+    assert take_in(PEER, question._replace(**changes)).is_error()
+    answer = PlaceAnswer(PEER, ROUTED_FLOW, 0, True, 0, -1)
+    assert take_in(PEER, answer).is_error()
+    assert take_in(PEER, answer._replace(queue_position=3)).is_ok()
--- a/libs/daemons/tests/test_token_entry_core.py
+++ b/libs/daemons/tests/test_token_entry_core.py
@@ -475,3 +475,78 @@
     assert core.router.load_tracker.flows[flow].tried_tokens == (
         int(placed.split()[2]),
     )
+
+
+class QueuedHeads(Heads):
+    """Packets of a route with a target latency."""
+
+    def read_routes(self, content):
+        routes = super().read_routes(content).ok
+        [route] = routes.routes
+        return Ok(routes._replace(routes=(route._replace(target_latency_s=0.5),)))
+
+
+def queued_core(vm, entries):
+    settings = EntrySettings(vm, "a", PLACE, PLACE, PLACE, PLACE, ("c1",))
+    core = EntryCore(settings, QueuedHeads(), Random(1), 0.0)
+    core.message(
+        "c1", answer(server(1), document=3, content=b"3", entries=entries), 0.1
+    )
+    return core
+
+
+def test_an_opening_in_the_own_queue_is_granted_at_a_tick():
+    """Guards against a queue whose slots nobody grants while no packet comes."""
+    core = queued_core("e1", ("e1",))
+    token = server(1).token
+    for caller in range(SLOTS + QUEUE - 2):
+        assert datagrams(core.packet(b"open %d" % caller, 1.0))
+        core.packet(b"data %d %d" % (caller, token), 1.01)
+    assert core.packet(b"open 99", 1.02) == []
+    assert core.counts["openings.queued"] == 1
+    assert datagrams(core.tick(core.due_at(1.02))) == []
+    core.packet(b"answered 0 %d" % token, 1.05)
+    due_at = core.due_at(1.05)
+    assert due_at <= 1.05 + RETRY_S
+    assert datagrams(core.tick(due_at)) == [b"open 99 %d" % token]
+    assert core.router.queues.counts["queue.granted"] == 1
+
+
+def test_a_second_answer_places_the_opening_of_another_vm():
+    """Guards against a grant that the VM with the packet does not act on."""
+    entries = ("e1", "e2")
+    cores = {vm: queued_core(vm, entries) for vm in entries}
+    selector = cores["e1"].router.coordinators
+    coordinator = selector.coordinator_for("entries", 0.1)
+    [asking] = set(entries) - {coordinator}
+    token = server(1).token
+    load = cores[coordinator].router.load_tracker.local_load_at(token)
+    load.active_requests = SLOTS + QUEUE
+    [question] = cores[asking].packet(b"open 7", 1.0)
+    [queued] = cores[coordinator].message(asking, question.message, 1.001)
+    assert queued.message.queue_position == 1
+    assert cores[asking].message(coordinator, queued.message, 1.002) == []
+    load.active_requests = 0
+    granted = [
+        one
+        for one in cores[coordinator].tick(1.02)
+        if isinstance(one, Sent) and isinstance(one.message, PlaceAnswer)
+    ]
+    assert [one.vm for one in granted] == [asking]
+    effects = cores[asking].message(coordinator, granted[0].message, 1.03)
+    assert datagrams(effects) == [b"open 7 %d" % token]
+
+
+def test_a_refusal_of_the_coordinator_resets_the_caller():
+    """Guards against a refusal after which the caller waits on."""
+    entries = ("e1", "e2")
+    cores = {vm: queued_core(vm, entries) for vm in entries}
+    coordinator = cores["e1"].router.coordinators.coordinator_for("entries", 0.1)
+    [asking] = set(entries) - {coordinator}
+    [question] = cores[asking].packet(b"open 7", 1.0)
+    refusal = PlaceAnswer(
+        coordinator, question.message.flow_key, 0, True, 0, is_refused=True
+    )
+    assert datagrams(cores[asking].message(coordinator, refusal, 1.01)) == [b"reset 0"]
+    assert cores[asking].counts["resets.service-full"] == 1
+    assert not cores[asking].router.syn_buffer.by_flow
