Note the move of an opening to another queue only once that is asked

A queued opening whose coordinator changed was noted as queued at the new one before the pause after an older coordinator's answer that all servers are full was looked at. Within the pause it was then not asked for, and counted as queued for a second. The pause comes first now. The part of SynRouter.route that concerns the coordinator is a function of its own.

Tests of libs/tokens, the entry core, intake, test_token_queue.py and test_token_load.py pass; the new test failed before.

--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -126,34 +126,38 @@
             entry = self.directory.running_entry(flow.token)
             if entry is not None and entry.ended_at is None:
                 return Forward(entry.record, entry.token)
-        wait = self.syn_buffer.waits.get(header.flow_key)
         if header.flow_key in self.coordinators.pending_requests:
             if self.coordinators.is_pending(header.flow_key, now):
                 return HoldForServer("asked")
-            if wait is None:
+            if header.flow_key not in self.syn_buffer.waits:
                 return self._place_locally(header, service, now)
         if self.is_queued(header, now):
             return HoldForServer("queued")
+        return self._place_by_coordinator(header, route, service, now)
+
+    def _place_by_coordinator(
+        self, header: PacketHeader, route: Route, service: ServiceName, now: float
+    ) -> Decision:
+        """Return the decision for a SYN packet that a coordinator places or queues."""
+        wait = self.syn_buffer.waits.get(header.flow_key)
         coordinator = self._coordinator_for(wait, service, now)
+        is_own = coordinator == self.settings.vm
+        if not is_own and self._is_placement_paused(service, now):
+            return NO_SLOT
         was_queued = wait is not None and wait.vm != coordinator
+        if is_own and not was_queued and not self.queues.must_wait(service, now):
+            decision = self._place_locally(header, service, now)
+            if decision != NO_SLOT or not self.queues.is_queued(service):
+                return decision
+        question = self._question_about(header, route, service, now)
         if was_queued:
+            question = question._replace(was_queued=True)
             self._leave_queue(header.flow_key)
-            wait = QueueWait(coordinator, service, now)
-            self.syn_buffer.waits[header.flow_key] = wait
-        if coordinator == self.settings.vm:
-            if not was_queued and not self.queues.must_wait(service, now):
-                decision = self._place_locally(header, service, now)
-                if decision != NO_SLOT or not self.queues.is_queued(service):
-                    return decision
-            question = self._question_about(header, route, service, now)
-            question = question._replace(was_queued=was_queued)
+            moved = QueueWait(coordinator, service, now)
+            self.syn_buffer.waits[header.flow_key] = moved
+        if is_own:
             return self._place_in_queue(header, question, now)
-        if self._is_placement_paused(service, now):
-            return NO_SLOT
         self.coordinators.record_request(coordinator, header.flow_key, now)
-        question = self._question_about(header, route, service, now)
-        if was_queued:
-            question = question._replace(was_queued=True)
         return RequestPlacement(coordinator, question)
 
     def _coordinator_for(
--- a/libs/tokens/tests/test_service_queues.py
+++ b/libs/tokens/tests/test_service_queues.py
@@ -479,6 +479,17 @@
     assert {port: asked.get(port) for port in (1, 2)} == {1: successor, 2: successor}
 
 
+def test_an_opening_that_may_not_be_asked_for_yet_is_asked_for_later():
+    """Guards against a wait in the queue of a successor that was never asked."""
+    router, vm, successor = asking_router()
+    wait_in_queue(router, vm, syn())
+    router.coordinators.record_request(vm, b"x" * 12, NOW_S)
+    assert not router.coordinators.is_pending(b"x" * 12, NOW_S + 0.05)
+    router.syn_router.last_full_at["entries"] = NOW_S + 0.05
+    assert open_flow(router, syn(), NOW_S + 0.06) == HoldForServer("no-slot")
+    assert open_flow(router, syn(), NOW_S + 0.08).coordinator == successor
+
+
 def test_a_lone_opening_finds_the_successor_by_the_copy_of_its_syn():
     """Guards against a quiet VM that learns of a dead coordinator a second late."""
     router, vm, successor = asking_router()
