--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -114,7 +114,7 @@
         )
         if self.router.link.is_enabled:
             due_at = min(due_at, self.router.link.due_at(now), self.pacer.due_at())
-        if self.router.syn_buffer.by_flow:
+        if self.router.syn_buffer.by_flow or self.router.queues.has_work():
             due_at = min(due_at, max(self.waiting.retry_at, now))
         return due_at
 
--- a/libs/tokens/src/kumquatmux_tokens/link_admission.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_admission.py
@@ -18,7 +18,7 @@
 from kumquatmux_tokens.routes import Route
 from kumquatmux_tokens.sequences import SEQUENCE_SPACE, is_near
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.upload_queue import RefusedCallers, UploadQueue, WaitingUpload
+from kumquatmux_tokens.upload_queue import RefusedUploads, UploadQueue, WaitingUpload
 from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer
 
 SYN_RESET_SEQUENCE_NUMBER = 0
@@ -66,7 +66,7 @@
         self.account = LinkAccount(settings.link, now)
         self.bulk = BulkRoutes(settings.link)
         self.queue = UploadQueue(settings.link)
-        self.refused = RefusedCallers(settings.link)
+        self.refused = RefusedUploads(settings.link)
         self.zone = ZoneOccupancy(settings.link, random)
 
     @property
@@ -131,6 +131,11 @@
             return None
         return self._hold_or_refuse(header, route, waiting, now)
 
+    def keep_claim(self, header: PacketHeader, now: float) -> None:
+        """Keep the claim of an admitted upload whose SYN packet waits for a server."""
+        if self.is_active:
+            self._is_admitted(header, now)
+
     def pop_admitted(self, now: float) -> list[BufferedPacket]:
         """Remove and return the SYN packets whose uploads may start now."""
         self.account.has_ended_claim = False
@@ -252,6 +257,8 @@
         """Return whether a flow has a server already, or one is being selected."""
         if self.load_tracker.flow_of_syn(header) is not None:
             return True
+        if header.flow_key in self.syn_buffer.waits:
+            return True
         if header.flow_key in self.coordinators.pending_requests:
             return True
         token = self.recent.token_of(header.flow_key, now, header.sequence_number)
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -28,6 +28,15 @@
         expects_many_requests: Whether the flow is likely to carry many requests.
         sequence_number: Sequence number of the flow's SYN, which tells it from a flow
             that the caller had before on the same port.
+        priority: Priority of the flow's route; 0 is the highest.
+        wait_left_ms: Milliseconds for which the caller still waits, 0 if that is not
+            said. Whole numbers are shorter on the wire.
+        target_latency_ms: Target latency of the flow's route in milliseconds, 0 if it
+            has none.
+        was_refused: Whether the flow seems to be the retry of a caller that was refused
+            at the requesting VM.
+        was_queued: Whether the flow waited in the queue of another coordinator, which
+            the answering VM succeeds.
     """
 
     sender: VmId
@@ -36,6 +45,11 @@
     tried_tokens: tuple[int, ...]
     expects_many_requests: bool
     sequence_number: int = 0
+    priority: int = 0
+    wait_left_ms: int = 0
+    target_latency_ms: int = 0
+    was_refused: bool = False
+    was_queued: bool = False
 
 
 class PlaceAnswer(NamedTuple):
@@ -50,6 +64,10 @@
         reservation_number: Number of the reservation for the flow, 0 for none.
         is_paced: Whether the sender limits the requests in progress at the server, and
             so wants to know how it answers.
+        queue_position: Position of the flow in the answering VM's queue, which sends a
+            second answer once the flow has a server; 0 if the flow is not queued.
+        is_refused: Whether the flow would get no server in time, so that its caller is
+            to be refused.
     """
 
     sender: VmId
@@ -58,6 +76,8 @@
     is_full: bool
     reservation_number: int
     is_paced: bool = False
+    queue_position: int = 0
+    is_refused: bool = False
 
 
 class Backoff:
@@ -134,10 +154,29 @@
         """Return the first VM in the ranking of a service, silent or not."""
         return next(iter(self._ranking(service)), None)
 
+    def coordinator_after(self, vm: VmId, service: ServiceName, now: float) -> VmId:
+        """Return the coordinator for a flow that waits in the queue of one.
+
+        It stays there while that VM answers and the preferred one has not answered
+        since it left a request unanswered: a try at each end of its backoff would take
+        all that wait out of the queue.
+        """
+        coordinator = self.coordinator_for(service, now)
+        backoff = self.backoffs.get(vm)
+        is_avoided = backoff is not None and backoff.expires_at > now
+        is_unproven = coordinator in self.backoffs
+        stays = is_unproven and not is_avoided and vm in self.entry_vms
+        return vm if stays else coordinator
+
     def record_request(self, vm: VmId, flow_key: bytes, now: float) -> None:
         """Record that a placement request was sent."""
         self.pending_requests[flow_key] = PendingRequest(vm, now)
 
+    def is_asked(self, vm: VmId, flow_key: bytes) -> bool:
+        """Return whether an answer of a VM to a flow's placement request is awaited."""
+        request = self.pending_requests.get(flow_key)
+        return request is not None and request.vm == vm
+
     def is_pending(self, flow_key: bytes, now: float) -> bool:
         """Return whether an answer to a flow's placement request may still come.
 
@@ -163,13 +202,21 @@
         if request is not None and request.vm == vm:
             del self.pending_requests[flow_key]
 
-    def note_delay(self, flow_key: bytes, now: float) -> None:
-        """Note an answer that has arrived, which may be late or a duplicate."""
+    def note_delay(self, flow_key: bytes, now: float, *, is_of_queue: bool) -> None:
+        """Note an answer that has arrived, which may be late or a duplicate.
+
+        Args:
+            flow_key: Key of the flow.
+            now: Current time in monotonic seconds.
+            is_of_queue: Whether the flow waits in the queue of the VM that answered,
+                so that an answer may come without a request.
+        """
         request = self.pending_requests.get(flow_key)
-        if (
-            request is None
-            or now - request.sent_at >= self.settings.placement_timeout_s
-        ):
+        if request is None:
+            is_late = not is_of_queue
+        else:
+            is_late = now - request.sent_at >= self.settings.placement_timeout_s
+        if is_late:
             self.timed_out[flow_key] = now
 
     def remove_expired(self, now: float) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/recovering.py
+++ b/libs/tokens/src/kumquatmux_tokens/recovering.py
@@ -143,6 +143,17 @@
             self.deferred.pop(flow_key, None)
             self.budget.grant(entry, now)
 
+    def renew(self, entry: ServerEntry, granted_at: float, now: float) -> bool:
+        """Return whether an opening that was granted, but not sent, may be sent now.
+
+        It counts once, as granted now.
+        """
+        if not self.is_limited(entry.record.report.service):
+            return False
+        if self.is_cold(entry, now) and not self._may_grant(entry, now):
+            return False
+        return self.budget.move(entry, granted_at, now)
+
     def note_deferred(
         self, flow_key: bytes, service: ServiceName, withheld: Withheld, now: float
     ) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/router.py
+++ b/libs/tokens/src/kumquatmux_tokens/router.py
@@ -37,8 +37,13 @@
 from kumquatmux_tokens.routes import RouteSet, RouteTable
 from kumquatmux_tokens.server_pace import PaceReport
 from kumquatmux_tokens.server_selector import ServerSelector
+from kumquatmux_tokens.service_queues import ServiceQueues
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.syn_router import SynRouter
+from kumquatmux_tokens.syn_router import (
+    SettledPacket,
+    SettledRequest,
+    SynRouter,
+)
 from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer, TokenLookupBuffer
 from kumquatmux_tokens.work import LoadShare
 
@@ -61,6 +66,7 @@
         load_reporter: Reports this VM's load to the other VMs of the zone.
         recovering: Tells which servers that started or recovered get a flow now.
         selector: Selects the servers of new flows.
+        queues: Queues of the services whose flows this VM places.
         syn_router: Decides what to do with each SYN packet.
         link: Admission of uploads to this VM's link.
         lost_holders: Control VMs of the zones that nothing has been heard of for long
@@ -112,11 +118,14 @@
         self.selector = ServerSelector(
             settings, random, self.pools, self.recent, self.recovering
         )
+        self.queues = ServiceQueues(
+            settings, self.route_table, self.selector, self.coordinators
+        )
         self.syn_router = SynRouter(
             settings,
             self.route_table,
             self.syn_buffer,
-            self.selector,
+            self.queues,
             self.load_reporter,
             now,
         )
@@ -146,6 +155,16 @@
                 return held
         return self.syn_router.route(header, now)
 
+    def is_queued(self, header: PacketHeader, now: float) -> bool:
+        """Return whether a buffered SYN packet waits in a queue and nothing is due.
+
+        An upload keeps its claim on the link meanwhile.
+        """
+        if not self.syn_router.is_queued(header, now):
+            return False
+        self.link.keep_claim(header, now)
+        return True
+
     def note_pause(self, now: float, gap_s: float) -> None:
         """Note a pause of this VM that has just ended, before packets are routed."""
         self.listening_since = now
@@ -185,8 +204,8 @@
     def answer_placement_request(
         self, question: PlaceQuestion, now: float
     ) -> PlaceAnswer:
-        """Select a server for a flow whose SYN packet arrived at another VM."""
-        return self.selector.answer_request(question, now)
+        """Place or queue a flow whose SYN packet arrived at another VM."""
+        return self.queues.answer_request(question, now)
 
     def process_placement_answer(
         self, answer: PlaceAnswer, now: float
@@ -194,7 +213,7 @@
         """Process the answer to a placement request.
 
         Returns:
-            The buffered SYN packet to forward now, None if there is none whose caller
+            The buffered SYN packet to decide on now, None if there is none whose caller
             still waits or every server is full.
         """
         return self.syn_router.process_answer(answer, now)
@@ -205,6 +224,10 @@
         """Return the decision for a SYN packet whose server another VM selected."""
         return self.syn_router.apply_answer(header, answer, now)
 
+    def settle_queues(self, now: float) -> list[SettledPacket | SettledRequest]:
+        """Return what follows for the openings whose wait in a queue here ends."""
+        return self.syn_router.settle_queues(now)
+
     def record_probe(
         self, token: int, result: ProbeResult, now: float
     ) -> list[BufferedPacket]:
@@ -273,6 +296,8 @@
         self.coordinators.remove_expired(now)
         self.recovering.remove_expired(now)
         self.link.remove_expired(now)
+        self.queues.remove_expired(now)
+        self.syn_buffer.remove_unbuffered()
 
     def _route_by_token(self, header: PacketHeader, now: float) -> Decision:
         self.syn_buffer.remove_opened(header)
--- a/libs/tokens/src/kumquatmux_tokens/server_selector.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_selector.py
@@ -11,7 +11,6 @@
     Selection,
     select_server,
 )
-from kumquatmux_tokens.directory import ServerEntry
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
 from kumquatmux_tokens.pools import ServerPool, ServerPools
 from kumquatmux_tokens.recent import RecentPlacements
@@ -44,15 +43,16 @@
         self.directory = pools.directory
         self.load_tracker = pools.load_tracker
 
-    def answer_request(self, question: PlaceQuestion, now: float) -> PlaceAnswer:
-        """Select a server for a flow whose SYN packet arrived at another VM."""
-        new_flow = NewFlow(
-            question.tried_tokens,
-            question.expects_many_requests,
-            now,
-            question.sequence_number,
-        )
-        selection = self.select(question.flow_key, question.service, new_flow)
+    def answer(
+        self, question: PlaceQuestion, selection: Selection | None, now: float
+    ) -> PlaceAnswer:
+        """Return the answer to a placement request, with a reservation if it is placed.
+
+        Args:
+            question: The request of another VM.
+            selection: The selected server, None if there is none to choose.
+            now: Current time in monotonic seconds.
+        """
         own_vm = self.settings.vm
         if selection is None:
             return PlaceAnswer(own_vm, question.flow_key, 0, False, 0)
@@ -73,10 +73,9 @@
         self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
     ) -> Selection | None:
         """Return the server for a flow, None if the service has none to choose."""
-        recent_entry = self._recent_entry(flow_key, service, new_flow)
-        if recent_entry is not None:
-            self.recovering.note_placement(flow_key, recent_entry, new_flow.now)
-            return Selection(recent_entry, 0.0, 1, 0, False)
+        recent = self.recent_selection(flow_key, service, new_flow)
+        if recent is not None:
+            return recent
         pool = self.pools.pool(service)
         withheld = self.recovering.withheld(service, new_flow.now)
         selection = self._select_among(pool, new_flow, withheld)
@@ -113,10 +112,13 @@
             return selection
         return awaited._replace(is_full=True)
 
-    def _recent_entry(
+    def recent_selection(
         self, flow_key: bytes, service: ServiceName, new_flow: NewFlow
-    ) -> ServerEntry | None:
-        """Return the server that another copy of a flow's SYN was sent to, if sound."""
+    ) -> Selection | None:
+        """Return the server that another copy of a flow's SYN was sent to, if sound.
+
+        This copy counts in the warm-up budget too.
+        """
         recent_token = self.recent.token_of(
             flow_key, new_flow.now, new_flow.sequence_number
         )
@@ -130,4 +132,7 @@
         is_of_service = entry.record.report.service == service
         if not is_of_service or is_avoided:
             return None
-        return entry if self.recovering.may_open(entry, new_flow.now) else None
+        if not self.recovering.may_open(entry, new_flow.now):
+            return None
+        self.recovering.note_placement(flow_key, entry, new_flow.now)
+        return Selection(entry, 0.0, 1, 0, False)
--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
+from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
-from kumquatmux_core.identity import ServiceName
-from kumquatmux_tokens.choice import NewFlow
+from kumquatmux_core.identity import ServiceName, VmId
+from kumquatmux_tokens.choice import NewFlow, Selection
 from kumquatmux_tokens.directory import ServerEntry
 from kumquatmux_tokens.flow import Flow
 from kumquatmux_tokens.load_reporter import LoadReporter
@@ -20,13 +21,50 @@
     Reset,
 )
 from kumquatmux_tokens.placers import PlaceAnswer, PlaceQuestion
-from kumquatmux_tokens.routes import RouteTable
-from kumquatmux_tokens.server_selector import ServerSelector
+from kumquatmux_tokens.refused_callers import RefusedCallers
+from kumquatmux_tokens.routes import Route, RouteTable
+from kumquatmux_tokens.service_queues import (
+    MS_PER_S,
+    Granted,
+    QueueOutcome,
+    QueuePlace,
+    QueueRefusal,
+    Refused,
+    ServiceQueues,
+    refusal_of,
+)
 from kumquatmux_tokens.settings import TokenRouterSettings
-from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer
+from kumquatmux_tokens.waiting import BufferedPacket, QueueWait, SynBuffer
 
 SYN_RESET_SEQUENCE_NUMBER = 0
 
+NO_SLOT = HoldForServer("no-slot")
+"""Decision for a SYN packet that finds all servers of its service full."""
+
+
+class SettledPacket(NamedTuple):
+    """A buffered SYN packet that waits in this VM's queue no longer.
+
+    Attributes:
+        packet: The packet.
+        decision: What to do with it.
+    """
+
+    packet: BufferedPacket
+    decision: Decision
+
+
+class SettledRequest(NamedTuple):
+    """Another VM's placement request that waits in this VM's queue no longer.
+
+    Attributes:
+        vm: The VM that asked.
+        answer: The answer for it.
+    """
+
+    vm: VmId
+    answer: PlaceAnswer
+
 
 class SynRouter:
     """Decides what to do with each SYN packet.
@@ -34,11 +72,14 @@
     Attributes:
         route_table: Routes in force.
         syn_buffer: SYN packets that are buffered until a server can take their flow.
+        queues: Queues of the services whose flows this VM places.
         selector: Selects a server if this VM places the flow.
         load_reporter: Reports the use of reservations.
         last_served_at: Time when each service last had a server for a flow.
         last_full_at: Time when another VM last answered that a service's servers are
             full.
+        queue_heard_at: Time when each VM last answered for a flow in its queue.
+        refused_callers: Callers that were refused here as a service was full.
     """
 
     def __init__(
@@ -46,7 +87,7 @@
         settings: TokenRouterSettings,
         route_table: RouteTable,
         syn_buffer: SynBuffer,
-        selector: ServerSelector,
+        queues: ServiceQueues,
         load_reporter: LoadReporter,
         now: float,
     ) -> None:
@@ -54,14 +95,17 @@
         self.started_at = now
         self.route_table = route_table
         self.syn_buffer = syn_buffer
-        self.selector = selector
+        self.queues = queues
+        self.selector = queues.selector
         self.load_reporter = load_reporter
-        self.directory = selector.directory
-        self.load_tracker = selector.load_tracker
-        self.recovering = selector.recovering
+        self.directory = self.selector.directory
+        self.load_tracker = self.selector.load_tracker
+        self.recovering = self.selector.recovering
         self.coordinators = load_reporter.coordinators
         self.last_served_at: dict[ServiceName, float] = {}
         self.last_full_at: dict[ServiceName, float] = {}
+        self.queue_heard_at: dict[VmId, float] = {}
+        self.refused_callers = RefusedCallers(settings)
 
     def route(self, header: PacketHeader, now: float) -> Decision:
         """Return the decision for a SYN packet."""
@@ -84,50 +128,120 @@
                 if copied is not None:
                     return copied
         if self._is_evacuated(service, now):
+            self._leave_queue(header.flow_key)
             return self._refuse(header, "zone-evacuated", now)
-        tried_tokens = flow.tried_tokens if flow is not None else ()
         if header.flow_key in self.coordinators.pending_requests:
             if self.coordinators.is_pending(header.flow_key, now):
                 return HoldForServer("asked")
-            return self._place_locally(header, service, now)
-        coordinator = self.coordinators.coordinator_for(service, now)
-        if coordinator == self.settings.vm:
-            return self._place_locally(header, service, now)
-        if self._is_placement_paused(service, now):
-            return HoldForServer("no-slot")
+            if header.flow_key not in self.syn_buffer.waits:
+                return self._place_locally(header, service, now)
+        if self.is_queued(header, now):
+            return HoldForServer("queued")
+        return self._place_by_coordinator(header, route, service, now)
+
+    def _place_by_coordinator(
+        self, header: PacketHeader, route: Route, service: ServiceName, now: float
+    ) -> Decision:
+        """Return the decision for a SYN packet that a coordinator places or queues."""
+        wait = self.syn_buffer.waits.get(header.flow_key)
+        coordinator = self._coordinator_for(wait, service, now)
+        is_own = coordinator == self.settings.vm
+        if not is_own and self._is_placement_paused(service, now):
+            return NO_SLOT
+        was_queued = wait is not None and wait.vm != coordinator
+        if is_own and not was_queued and not self.queues.must_wait(service, now):
+            decision = self._place_locally(header, service, now)
+            if decision != NO_SLOT or not self.queues.is_queued(service):
+                return decision
+        question = self._question_about(header, route, service, now)
+        if was_queued:
+            question = question._replace(was_queued=True)
+            self._leave_queue(header.flow_key)
+            moved = QueueWait(coordinator, service, now)
+            self.syn_buffer.waits[header.flow_key] = moved
+        if is_own:
+            return self._place_in_queue(header, question, now)
         self.coordinators.record_request(coordinator, header.flow_key, now)
-        expects_many_requests = self.load_tracker.expects_many_requests(
-            header.route_address
-        )
+        return RequestPlacement(coordinator, question)
+
+    def _coordinator_for(
+        self, wait: QueueWait | None, service: ServiceName, now: float
+    ) -> VmId:
+        if wait is None:
+            return self.coordinators.coordinator_for(service, now)
+        return self.coordinators.coordinator_after(wait.vm, service, now)
+
+    def is_queued(self, header: PacketHeader, now: float) -> bool:
+        """Return whether a SYN packet's flow waits in a queue and nothing is due.
+
+        Another VM that queued it is asked again once in ``queue_refresh_s``, in case
+        its second answer was lost, at a copy of the SYN if the VM is silent, and if
+        another one is the coordinator now. If all servers are in evacuated zones, the
+        flow waits no longer.
+        """
+        flow_key = header.flow_key
+        wait = self.syn_buffer.waits.get(flow_key)
+        if wait is None or flow_key in self.coordinators.pending_requests:
+            return False
+        if self._is_evacuated(wait.service, now):
+            return False
         own_vm = self.settings.vm
-        return RequestPlacement(
-            coordinator,
-            PlaceQuestion(
-                own_vm,
-                header.flow_key,
-                service,
-                tried_tokens,
-                expects_many_requests,
-                header.sequence_number,
-            ),
-        )
+        coordinator = self.coordinators.coordinator_after(wait.vm, wait.service, now)
+        if wait.vm == own_vm and coordinator == own_vm:
+            return self.queues.holds(wait.service, flow_key)
+        if wait.vm != coordinator:
+            return False
+        if now - wait.asked_at >= self.settings.queue_refresh_s:
+            return False
+        heard_at = max(wait.asked_at, self.queue_heard_at.get(wait.vm, -math.inf))
+        is_silent = now - heard_at >= self.settings.queue_silence_s
+        return not (is_silent and self._is_new_copy(header))
+
+    def settle_queues(self, now: float) -> list[SettledPacket | SettledRequest]:
+        """Return what follows for the openings whose wait in this VM's queues ends."""
+        settled = []
+        for outcome in self.queues.outcomes(now):
+            if outcome.question.sender == self.settings.vm:
+                one: SettledPacket | SettledRequest | None = self._settle_packet(
+                    outcome, now
+                )
+            else:
+                one = self._settle_request(outcome, now)
+            if one is not None:
+                settled.append(one)
+        return settled
 
     def process_answer(self, answer: PlaceAnswer, now: float) -> BufferedPacket | None:
         """Process the answer to a placement request.
 
         Returns:
-            The buffered SYN packet to forward now, None if there is none whose caller
+            The buffered SYN packet to decide on now, None if there is none whose caller
             still waits or every server is full.
         """
-        self.coordinators.note_delay(answer.flow_key, now)
-        self.coordinators.record_answer(answer.sender, answer.flow_key)
-        packet = self.syn_buffer.unexpired_packet(answer.flow_key, now)
+        flow_key = answer.flow_key
+        is_asked = self.coordinators.is_asked(answer.sender, flow_key)
+        wait = self.syn_buffer.waits.get(flow_key)
+        is_of_queue = wait is not None and wait.vm == answer.sender
+        self.coordinators.note_delay(flow_key, now, is_of_queue=is_of_queue)
+        self.coordinators.record_answer(answer.sender, flow_key)
+        packet = self.syn_buffer.unexpired_packet(flow_key, now)
         if packet is None:
             return None
+        if is_of_queue or answer.queue_position:
+            self.queue_heard_at[answer.sender] = now
+        # A coordinator that was replaced knows the load on the servers no more.
+        if wait is not None and not is_of_queue and not is_asked:
+            return None
+        if answer.is_refused:
+            return packet if is_of_queue or is_asked else None
         route = self.route_table.routes.get(packet.header.route_address)
-        service = route.select_service(answer.flow_key) if route else ServiceName("")
+        service = route.select_service(flow_key) if route else ServiceName("")
         if answer.is_full:
-            self.last_full_at[service] = now
+            if is_asked and answer.queue_position:
+                self.syn_buffer.waits[flow_key] = QueueWait(answer.sender, service, now)
+            elif not answer.queue_position:
+                self.syn_buffer.waits.pop(flow_key, None)
+                self.last_full_at[service] = now
             return None
         return packet
 
@@ -137,17 +251,27 @@
         """Return the decision for a SYN packet whose server another VM selected.
 
         If that server is unknown here, accepts no new flows, or is cold and the answer
-        grants no opening there, this VM selects one.
+        grants no opening there, this VM selects one. If it is cold and the flow waited
+        in that VM's queue, that VM is asked to confirm the grant.
         """
+        wait = self.syn_buffer.waits.get(header.flow_key)
+        self._leave_queue(header.flow_key)
         route = self.route_table.routes.get(header.route_address)
         if route is None:
             return self._decide_without_route(header, now)
+        if answer.is_refused:
+            return self._refuse_full(header, now)
         service = route.select_service(header.flow_key)
         entry = self.directory.accepting_entry(answer.token)
         if entry is None or entry.record.report.service != service:
             return self._place_locally(header, service, now)
-        if self.recovering.is_cold(entry, now) and not self._is_grant(answer, service):
-            return self._place_locally(header, service, now)
+        if self.recovering.is_cold(entry, now):
+            if not self._is_grant(answer, service):
+                return self._place_locally(header, service, now)
+            if wait is not None and wait.vm == answer.sender:
+                question = self._question_about(header, route, service, now)
+                self.coordinators.record_request(answer.sender, header.flow_key, now)
+                return RequestPlacement(answer.sender, question)
         if answer.is_paced:
             self.recovering.watch(answer.token, now)
         self.load_reporter.reports_to(
@@ -192,7 +316,8 @@
 
         Not so if another VM than the holder of the warm-up budget, as far as is known
         here, gave it, or if it may be one to a request that has timed out: it was
-        counted against the budget of another second.
+        counted against the budget of another second. A second answer, for a flow that
+        waits in that VM's queue, is no late one, but has to be confirmed.
         """
         is_of_holder = answer.sender == self.coordinators.first_for(service)
         return is_of_holder and answer.flow_key not in self.coordinators.timed_out
@@ -200,10 +325,8 @@
     def _place_locally(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
-        flow = self.load_tracker.flow_of_syn(header)
-        tried_tokens = flow.tried_tokens if flow is not None else ()
         new_flow = NewFlow(
-            tried_tokens,
+            self._tried_tokens(header),
             self.load_tracker.expects_many_requests(header.route_address),
             now,
             header.sequence_number,
@@ -213,7 +336,107 @@
             return self._decide_without_server(header, service, now)
         self.last_served_at[service] = now
         if selection.is_full:
-            return HoldForServer("no-slot")
+            return NO_SLOT
+        return self._forward(header, selection, now)
+
+    def _place_in_queue(
+        self, header: PacketHeader, question: PlaceQuestion, now: float
+    ) -> Decision:
+        """Return the decision for a SYN packet that joins this VM's own queue."""
+        service = question.service
+        outcome = self.queues.place(question, now)
+        if outcome is None:
+            return self._decide_without_server(header, service, now)
+        self.last_served_at[service] = now
+        if isinstance(outcome, QueuePlace):
+            own_vm = self.settings.vm
+            self.syn_buffer.waits[header.flow_key] = QueueWait(own_vm, service, now)
+            return HoldForServer("queued")
+        if isinstance(outcome, QueueRefusal):
+            return self._refuse_full(header, now)
+        return self._forward(header, outcome, now)
+
+    def _question_about(
+        self, header: PacketHeader, route: Route, service: ServiceName, now: float
+    ) -> PlaceQuestion:
+        """Return the placement request for a SYN packet."""
+        question = PlaceQuestion(
+            self.settings.vm,
+            header.flow_key,
+            service,
+            self._tried_tokens(header),
+            self.load_tracker.expects_many_requests(header.route_address),
+            header.sequence_number,
+        )
+        if not self.queues.is_queued(service):
+            return question
+        has_target = math.isfinite(route.target_latency_s)
+        target_ms = (
+            max(round(route.target_latency_s * MS_PER_S), 1) if has_target else 0
+        )
+        left_ms = round(self.syn_buffer.seconds_left(header, now) * MS_PER_S)
+        return question._replace(
+            priority=route.priority,
+            wait_left_ms=max(left_ms, 1),
+            target_latency_ms=target_ms,
+            was_refused=self._was_refused(header.flow_key, now),
+        )
+
+    def _was_refused(self, flow_key: bytes, now: float) -> bool:
+        """Return whether a flow is taken for the retry of a caller refused here."""
+        retries = self.syn_buffer.retries
+        if flow_key not in retries:
+            if not self.refused_callers.take(flow_key, now):
+                return False
+            retries.add(flow_key)
+        return True
+
+    def _tried_tokens(self, header: PacketHeader) -> tuple[int, ...]:
+        flow = self.load_tracker.flow_of_syn(header)
+        return flow.tried_tokens if flow is not None else ()
+
+    def _is_new_copy(self, header: PacketHeader) -> bool:
+        """Return whether a SYN packet is a later copy than the buffered one."""
+        packet = self.syn_buffer.by_flow.get(header.flow_key)
+        if packet is None:
+            return False
+        return header.retransmission_count > packet.header.retransmission_count
+
+    def _leave_queue(self, flow_key: bytes) -> None:
+        """Forget the wait of a flow, also in this VM's own queue."""
+        wait = self.syn_buffer.waits.pop(flow_key, None)
+        if wait is not None and wait.vm == self.settings.vm:
+            self.queues.withdraw(wait.service, flow_key)
+
+    def _settle_packet(self, outcome: QueueOutcome, now: float) -> SettledPacket | None:
+        """Return the decision for a buffered SYN packet, if its caller still waits."""
+        flow_key = outcome.question.flow_key
+        self.syn_buffer.waits.pop(flow_key, None)
+        packet = self.syn_buffer.unexpired_packet(flow_key, now)
+        if packet is None:
+            return None
+        if isinstance(outcome, Granted):
+            decision = self._forward(packet.header, outcome.selection, now)
+            return SettledPacket(packet, decision)
+        if isinstance(outcome, Refused):
+            return SettledPacket(packet, self._refuse_full(packet.header, now))
+        return None
+
+    def _settle_request(self, outcome: QueueOutcome, now: float) -> SettledRequest:
+        """Return the second answer to another VM's placement request."""
+        question = outcome.question
+        if isinstance(outcome, Refused):
+            return SettledRequest(question.sender, refusal_of(question, self.settings))
+        if isinstance(outcome, Granted):
+            answer = self.queues.answer_grant(question, outcome.selection, now)
+        else:
+            answer = self.selector.answer(question, None, now)
+        return SettledRequest(question.sender, answer)
+
+    def _forward(
+        self, header: PacketHeader, selection: Selection, now: float
+    ) -> Decision:
+        """Return the decision to forward a SYN packet to the server selected here."""
         token = selection.entry.token
         self.load_tracker.record_syn(header, token, now)
         self._log_placement(
@@ -267,6 +490,13 @@
             return Drop("copy-refused")
         return Reset(SYN_RESET_SEQUENCE_NUMBER, reason)
 
+    def _refuse_full(self, header: PacketHeader, now: float) -> Decision:
+        """Return the decision for a SYN packet that would get no slot in time."""
+        decision = self._refuse(header, "service-full", now)
+        if isinstance(decision, Reset):
+            self.refused_callers.add(header.flow_key, now)
+        return decision
+
     def _decide_without_server(
         self, header: PacketHeader, service: ServiceName, now: float
     ) -> Decision:
--- a/libs/tokens/src/kumquatmux_tokens/upload_queue.py
+++ b/libs/tokens/src/kumquatmux_tokens/upload_queue.py
@@ -96,8 +96,8 @@
                 self.remove(waiting.flow_key)
 
 
-class RefusedCallers:
-    """Callers that were refused a short time ago.
+class RefusedUploads:
+    """Callers whose uploads were refused a short time ago.
 
     Attributes:
         by_address: Time of the refusal, and key of the refused flow, by the caller's
--- a/libs/tokens/src/kumquatmux_tokens/warm_up.py
+++ b/libs/tokens/src/kumquatmux_tokens/warm_up.py
@@ -136,6 +136,20 @@
         self._remove_old(grants, now)
         grants.append(now)
 
+    def move(self, entry: ServerEntry, granted_at: float, now: float) -> bool:
+        """Count an opening that was not sent yet as granted now.
+
+        Returns:
+            False if its grant counts no longer, so that it needs another one.
+        """
+        grants = self.grants.get(entry.record.report.lifetime.name, deque())
+        self._remove_old(grants, now)
+        if granted_at not in grants:
+            return False
+        grants.remove(granted_at)
+        grants.append(now)
+        return True
+
     def remove_expired(self, now: float) -> None:
         """Remove the servers that got no opening within the last second."""
         for name, grants in list(self.grants.items()):
--- a/libs/tokens/tests/test_link_admission.py
+++ b/libs/tokens/tests/test_link_admission.py
@@ -8,7 +8,14 @@
 from kumquatmux_core.identity import Address, Endpoint
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.link_occupancy import LinkOccupancy
-from kumquatmux_tokens.packets import Drop, Forward, HoldForLink, PacketHeader, Reset
+from kumquatmux_tokens.packets import (
+    Drop,
+    Forward,
+    HoldForLink,
+    HoldForServer,
+    PacketHeader,
+    Reset,
+)
 from kumquatmux_tokens.router import TokenRouter
 from kumquatmux_tokens.routes import Route, RouteSet, WeightedService
 from kumquatmux_tokens.settings import LinkSettings, TokenRouterSettings
@@ -330,3 +337,54 @@
         router.route_packet(make_syn(1, copy=1, route=FEEDS), 10.2)
         (load,) = router.load_tracker.local_loads.values()
         assert load.unanswered_syns == (0 if is_link_late else 1)
+
+
+def full_service(router):
+    (token,) = router.directory.by_token
+    router.load_tracker.local_load_at(token).active_requests = 1000
+    router.load_tracker.changed_tokens.add(token)
+
+
+def take_queued(router, header, now):
+    """Route a SYN whose service is full, and buffer it."""
+    decision = router.route_packet(header, now)
+    assert decision == HoldForServer("queued")
+    router.syn_buffer.add(header, b"", now)
+
+
+# Guards against a second deadline, or a second buffered packet, for an opening that
+# waits for the link and then for a server.
+def test_an_upload_that_waited_for_the_link_waits_on_in_the_queue_of_its_service():
+    router = make_router()
+    open_upload(router, 0.9)
+    assert take_syn(router, make_syn(7), 1.0) == HoldForLink()
+    full_service(router)
+    (held,) = router.link.pop_admitted(1.75)
+    take_queued(router, held.header, 1.75)
+    assert list(router.syn_buffer.by_flow) == [held.header.flow_key]
+    [opening] = router.queues.by_service["servers"].by_flow.values()
+    assert opening.first_sent_at == pytest.approx(1.0)
+    kept = router.syn_buffer.unexpired_packet(held.header.flow_key, 1.75)
+    assert kept.expires_at == held.expires_at == pytest.approx(2.4)
+
+
+# Guards against a link that is given away while an admitted upload waits for a server,
+# and a refusal of it with ``link-full``.
+def test_an_upload_in_the_queue_of_its_service_keeps_its_claim():
+    router = make_router()
+    full_service(router)
+    take_queued(router, make_syn(1), 1.0)
+    for step in range(1, 50):
+        now = 1.0 + step * 0.02
+        assert router.is_queued(make_syn(1), now)
+        router.remove_expired(now)
+    assert make_syn(1).flow_key in router.link.account.uploads
+    router.link.account.uploads.clear()
+    fill_claims(router, 2.0)
+    assert router.route_packet(make_syn(1, 1), 2.0) == HoldForServer("queued")
+
+
+def fill_claims(router, now):
+    for caller in (20, 21, 22):
+        key = make_syn(caller).flow_key
+        router.link.account.start_upload(key, 40_000.0, 101, now)
