Count the new messages and the evacuated zones in the capacity page

Sizes by the codec: LinkOccupancy 17 B, PaceReport 14 B and 8 B a server, one evacuated zone 10 B in an answer of the feed. While a link's queue lasts a VM sends 1,088 B/s of reports to 64 VMs; the limit of 6 KB/s is met.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -27,6 +27,7 @@
 PROBES_LIMIT = 1_024
 CONNECTIONS_PER_PROBE = 3
 NEWS_PER_SWEEP = 32
+REPORT_INTERVAL_S = 2.8
 PROBE_TIMEOUT_S = 1.5
 LIMIT_BYTES = 6_000
 LIMIT_CPU_PERCENT = 2.6
@@ -263,6 +264,9 @@
     new_flows = NEW_FLOWS / NODES * s["token_new_flow_us"] / 1e4
     flows = FLOWS / NODES * s["token_flow_bytes"] / 1e6
     contested = NEW_FLOWS / NODES * CONTESTED_SHARE * 64 * 37
+    occupancy = 64 * s["link_occupancy_bytes"]
+    pace = (s["pace_report_bytes"] + 4 * s["pace_server_bytes"]) / REPORT_INTERVAL_S
+    evacuated = 2 * polled * s["evacuation_bytes"]
     return [
         Row(
             "polls of an entry VM",
@@ -338,6 +342,24 @@
             "2,048 B",
             "built; 256 a second at most, which **misses**",
         ),
+        Row(
+            "reports of a link's queue, sent while there is one",
+            f"64 VMs x 1/s x {s['link_occupancy_bytes']:.0f} B",
+            kb(occupancy),
+            "built; " + verdict(occupancy < LIMIT_BYTES),
+        ),
+        Row(
+            "reports of paced servers to a coordinator, while some recover",
+            f"a report of 4 servers each {REPORT_INTERVAL_S:.1f} s (700 VMs x 4 ms)",
+            kb(pace),
+            "built; " + verdict(pace < LIMIT_BYTES),
+        ),
+        Row(
+            "an evacuated zone, in answers to an entry VM",
+            f"{polled} control VMs x 2/s x {s['evacuation_bytes']:.0f} B",
+            kb(evacuated),
+            "built",
+        ),
         Row(
             "memory of counted flows",
             f"13,571 x {s['token_flow_bytes']:.0f} B",
