Call the findings of a document's review warnings

Cause: the type was Doubt, while the guide, the output and the platform's module say warning; and doubts are evidence against a server elsewhere in these packages. Two doc comments said less than the code does.

Change: Doubt is ReviewWarning, names and doc comments follow. Behaviour and codes are the same.

Tests: tests/adapter/test_check.py, test_manifest_review.py, test_node_file.py, test_manifest_errors.py: pass.

--- a/libs/tokens/src/kumquatmux_tokens/document_review.py
+++ b/libs/tokens/src/kumquatmux_tokens/document_review.py
@@ -1,4 +1,4 @@
-"""Finds what is valid in a configuration document and hardly meant."""
+"""Finds what is valid in a configuration document but probably a mistake."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class TargetAboveTimeout(NamedTuple):
-    """Requests have failed before they miss their target, both in seconds."""
+    """Requests time out before their target latency, both in seconds."""
 
     route: str
     target_latency_s: float
@@ -32,7 +32,7 @@
 
 
 class IdleBelowTimeout(NamedTuple):
-    """A flow may be dropped while an answer is still in time, both in seconds."""
+    """A flow may be dropped before its request times out, both in seconds."""
 
     route: str
     idle_timeout_s: float
@@ -40,7 +40,7 @@
 
 
 class ColdWithoutRequests(NamedTuple):
-    """A cold server of a service bears no requests, so it is never warmed by any."""
+    """A cold server of a service gets no requests, as its limit is 0 a second."""
 
     service: ServiceName
     duration_s: float
@@ -53,7 +53,7 @@
     in_force: int
 
 
-Doubt = (
+ReviewWarning = (
     UnreachedService
     | UnusedShare
     | TargetAboveTimeout
@@ -63,7 +63,7 @@
 )
 
 
-def review_routes(route_set: RouteSet) -> Iterator[Doubt]:
+def review_routes(route_set: RouteSet) -> Iterator[ReviewWarning]:
     """Yield entries that can never match and limits that contradict each other."""
     for route in route_set.routes:
         yield from _review_shares(route)
@@ -74,19 +74,19 @@
             yield ColdWithoutRequests(warm_up.service, warm_up.duration_s)
 
 
-def review_number(number: int, in_force: int) -> Iterator[Doubt]:
+def review_number(number: int, in_force: int) -> Iterator[ReviewWarning]:
     """Yield that a document is not newer than the one in force, 0 if there is none."""
     if number <= in_force:
         yield NumberNotHigher(number, in_force)
 
 
-def _review_shares(route: Route) -> Iterator[Doubt]:
+def _review_shares(route: Route) -> Iterator[ReviewWarning]:
     for share in route.weighted_services:
         if not share.weight:
             yield UnusedShare(route.name, share.service)
 
 
-def _review_times(route: Route, idle_timeout_s: float) -> Iterator[Doubt]:
+def _review_times(route: Route, idle_timeout_s: float) -> Iterator[ReviewWarning]:
     target_s, timeout_s = route.target_latency_s, route.timeout_s
     if timeout_s < target_s < math.inf:
         yield TargetAboveTimeout(route.name, target_s, timeout_s)
@@ -94,7 +94,7 @@
         yield IdleBelowTimeout(route.name, idle_timeout_s, timeout_s)
 
 
-def _review_services(route_set: RouteSet) -> Iterator[Doubt]:
+def _review_services(route_set: RouteSet) -> Iterator[ReviewWarning]:
     reached = {
         share.service
         for route in route_set.routes
