--- a/libs/daemons/src/kumquatmux_daemons/token_entry/settings.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/settings.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from kumquatmux_core.identity import Endpoint, VmId, ZoneName
-from kumquatmux_tokens.settings import WarmUpLimits as WarmUpLimits
+from kumquatmux_tokens.settings import WarmUpLimits
 
 
 class VmLimits(NamedTuple):
--- a/libs/daemons/tests/pace_world.py
+++ b/libs/daemons/tests/pace_world.py
@@ -18,11 +18,12 @@
 from kumquatmux_core.identity import Address, Endpoint
 from kumquatmux_daemons.token_entry.core import EntryCore
 from kumquatmux_daemons.token_entry.effects import Datagram, Sent
-from kumquatmux_daemons.token_entry.settings import EntrySettings, WarmUpLimits
+from kumquatmux_daemons.token_entry.settings import EntrySettings
 from kumquatmux_registry.feed import FeedAnswer, FeedPoll
 from kumquatmux_registry.records import Lifetime, Phase, Report, ServerRecord
 from kumquatmux_tokens.packets import PacketHeader
 from kumquatmux_tokens.routes import Route, RouteSet, WarmUp, WeightedService
+from kumquatmux_tokens.settings import WarmUpLimits
 
 ROUTE = Address(bytes([198, 18, 0, 1, 1, 187]))
 PLACE = Endpoint("10.1.0.9", 1)
