Give the times of answers and the deferred openings modules of their own

Cause: recovering.py had 341 lines and also kept the mean times to an answer, the openings that wait and when a line about them was written. Two of its methods looked up a server in the same four steps. ServerWitness is no term of the field.

Behaviour and lines are the same.

--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -237,8 +237,8 @@
             return False
         flow.counted_copy = copy
         self.avoid(load, now)
-        if self.witness is not None:
-            self.witness.note_unanswered(flow.token, now)
+        if self.observer is not None:
+            self.observer.note_unanswered(flow.token, now)
         return True
 
     def record_packet(self, header: PacketHeader, token: int, now: float) -> None:
@@ -289,8 +289,8 @@
             if flow.request_sent_at is not None:
                 answer_s = now - flow.request_sent_at
                 self.latencies.record("first-answer", answer_s)
-                if self.witness is not None:
-                    self.witness.note_answer(
+                if self.observer is not None:
+                    self.observer.note_answer(
                         flow.token, header.route_address, answer_s, now
                     )
             self.end_request(flow)
@@ -338,8 +338,8 @@
                 and not flow.is_established
                 and flow.syn_forwarded_at == forwarded_at
             ):
-                if self.witness is not None and flow.request_sent_at is not None:
-                    self.witness.note_unopened(flow.token, now)
+                if self.observer is not None and flow.request_sent_at is not None:
+                    self.observer.note_unopened(flow.token, now)
                 self.end_request(flow)
 
     def remove_expired(self, now: float) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/recovering.py
+++ b/libs/tokens/src/kumquatmux_tokens/recovering.py
@@ -1,12 +1,13 @@
-"""Servers that started or recovered: which of them may get a new flow now."""
+"""Decides which servers that started or recovered may get a new flow now."""
 
 from __future__ import annotations
 
-import math
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import ServiceName, VmId
+from kumquatmux_tokens.answer_times import AnswerTimes
+from kumquatmux_tokens.deferred_openings import DeferredOpenings, remove_before
 from kumquatmux_tokens.directory import ServerDirectory, ServerEntry
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.placers import CoordinatorSelector
@@ -15,15 +16,6 @@
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.warm_up import BudgetTenure, WarmUpBudget
 
-LOG_INTERVAL_S = 1.0
-"""Seconds between two ``pace-limited`` lines of one service."""
-
-DEFERRED_S = 0.3
-"""Seconds after which an opening that is not tried again waits no longer.
-
-Others are tried every 20 ms, or every 200 ms by a VM whose requests are limited.
-"""
-
 
 class Withheld(NamedTuple):
     """Servers of a service that get no new flow now.
@@ -64,9 +56,8 @@
         watched_until: Times until which a coordinator is told of the answers of a
             server that it paces, by token.
         counts: What the coordinators are to be told of, by token.
-        mean_answer_s: Recent mean of the seconds to the first answer, by service.
-        deferred: Times at which openings that wait for a withheld server were last
-            tried, by flow key.
+        answer_times: Tells whether an answer of a server came in time.
+        deferred: Openings that wait for a withheld server.
     """
 
     def __init__(
@@ -87,11 +78,10 @@
         self.cold_tokens: dict[ServiceName, set[int]] = {}
         self.watched_until: dict[int, float] = {}
         self.counts: dict[int, AnswerCounts] = {}
-        self.mean_answer_s: dict[ServiceName, float] = {}
-        self.deferred: dict[bytes, float] = {}
-        self._logged_at: dict[ServiceName, float] = {}
+        self.answer_times = AnswerTimes(settings, route_table)
+        self.deferred = DeferredOpenings(settings.syn_buffer_limit)
         if settings.warm_up_limits is not None:
-            load_tracker.witness = self
+            load_tracker.observer = self
 
     def is_limited(self, service: ServiceName) -> bool:
         """Return whether a service's servers are subject to budget and pace."""
@@ -140,25 +130,21 @@
         again and its first report is on its way.
         """
         if self.is_limited(entry.record.report.service):
-            self.deferred.pop(flow_key, None)
+            self.deferred.remove(flow_key)
             self.budget.grant(entry, now)
 
     def note_deferred(
         self, flow_key: bytes, service: ServiceName, withheld: Withheld, now: float
     ) -> None:
         """Note that an opening waits for one of the servers that are withheld."""
-        has_room = len(self.deferred) < self.settings.syn_buffer_limit
-        if has_room or flow_key in self.deferred:
-            self.deferred[flow_key] = now
-        if now - self._logged_at.get(service, -math.inf) < LOG_INTERVAL_S:
-            return
-        self._logged_at[service] = now
-        log_decision(
-            "pace-limited",
-            service=service,
-            withheld=len(withheld.tokens),
-            holds=self.tenure.holds(service, now),
-        )
+        self.deferred.record(flow_key, now)
+        if self.deferred.is_line_due(service, now):
+            log_decision(
+                "pace-limited",
+                service=service,
+                withheld=len(withheld.tokens),
+                holds=self.tenure.holds(service, now),
+            )
 
     def note_record(
         self, entry: ServerEntry, previous: ServerEntry | None, now: float
@@ -208,27 +194,25 @@
         if entry is None or not self.is_limited(entry.record.report.service):
             return
         service = entry.record.report.service
-        is_in_time = answer_s <= self._longest_answer_s(service, route_address)
+        is_in_time = self.answer_times.is_in_time(service, route_address, answer_s)
         if not self._is_watched(token, now):
-            self._update_mean(service, answer_s)
+            self.answer_times.record(service, answer_s)
         elif is_in_time:
             self._counts_of(token).answers += 1
             self.pace.note_answers(token, 1)
 
     def note_unanswered(self, token: int, now: float) -> None:
         """Note a SYN packet that a server left unanswered."""
-        entry = self.directory.by_token.get(token)
-        if entry is None or entry.ended_at is not None:
-            return
-        if self.is_limited(entry.record.report.service):
+        entry = self._limited_entry(token)
+        if entry is not None:
             self._counts_of(token).faults += 1
             self.pace.note_faults(entry, 1, now)
 
     def note_unopened(self, token: int, now: float) -> None:
         """Note a SYN packet that no other packet of its flow followed.
 
-        The server reset the flow, as its queue was full. Only of a paced server it is
-        taken for that: the fabric may have moved the flow to another VM.
+        A paced server is taken to have reset the flow, as its queue was full. Of other
+        servers that shows nothing: the fabric may have moved the flow to another VM.
         """
         if self._is_watched(token, now):
             self.note_unanswered(token, now)
@@ -236,10 +220,8 @@
     def apply_report(self, report: PaceReport, now: float) -> None:
         """Apply what another VM saw of paced servers."""
         for server in report.servers:
-            entry = self.directory.by_token.get(server.token)
-            if entry is None or entry.ended_at is not None:
-                continue
-            if not self.is_limited(entry.record.report.service):
+            entry = self._limited_entry(server.token)
+            if entry is None:
                 continue
             self.pace.note_answers(server.token, server.answers)
             if server.faults:
@@ -265,19 +247,18 @@
         ]
 
     def remove_expired(self, now: float) -> None:
-        """Remove what counts no longer."""
+        """Remove what is out of date."""
         self.budget.remove_expired(now)
         self.pace.remove_expired(now)
         for service in list(self.cold_tokens):
             self._cold_entries(service, now)
-        _remove_before(self.watched_until, now)
-        _remove_before(self.deferred, now - DEFERRED_S)
+        remove_before(self.watched_until, now)
+        self.deferred.remove_expired(now)
         for token in self.counts.keys() - self.directory.by_token.keys():
             del self.counts[token]
         warm_ups = self.route_table.warm_ups
-        for by_service in (self.mean_answer_s, self._logged_at):
-            for service in by_service.keys() - warm_ups.keys():
-                del by_service[service]
+        self.answer_times.keep_services(warm_ups.keys())
+        self.deferred.keep_services(warm_ups.keys())
 
     def cold_count(self, now: float) -> int:
         """Return the number of servers that get openings only on a grant."""
@@ -289,8 +270,14 @@
 
     def deferred_count(self, now: float) -> int:
         """Return the number of openings placed here that wait for withheld servers."""
-        _remove_before(self.deferred, now - DEFERRED_S)
-        return len(self.deferred)
+        return self.deferred.count(now)
+
+    def _limited_entry(self, token: int) -> ServerEntry | None:
+        """Return the lifetime with a token if it goes on and its service is limited."""
+        entry = self.directory.by_token.get(token)
+        if entry is None or entry.ended_at is not None:
+            return None
+        return entry if self.is_limited(entry.record.report.service) else None
 
     def _may_grant(self, entry: ServerEntry, now: float) -> bool:
         """Return whether this VM holds the budget of a cold server."""
@@ -320,22 +307,3 @@
 
     def _counts_of(self, token: int) -> AnswerCounts:
         return self.counts.setdefault(token, AnswerCounts())
-
-    def _longest_answer_s(self, service: ServiceName, route_address: bytes) -> float:
-        """Return the seconds within which a request is answered in time."""
-        route = self.route_table.routes.get(route_address)
-        if route is not None and not math.isinf(route.target_latency_s):
-            return route.target_latency_s
-        mean_s = self.mean_answer_s.get(service, math.inf)
-        return self.settings.late_answer_factor * mean_s
-
-    def _update_mean(self, service: ServiceName, answer_s: float) -> None:
-        mean_s = self.mean_answer_s.get(service, answer_s)
-        smoothing = self.settings.mean_answer_smoothing
-        self.mean_answer_s[service] = mean_s + smoothing * (answer_s - mean_s)
-
-
-def _remove_before(times: dict[Any, float], limit: float) -> None:
-    """Remove the entries with a time before a limit."""
-    for key in [key for key, time in times.items() if time < limit]:
-        del times[key]
--- a/libs/tokens/src/kumquatmux_tokens/server_loads.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_loads.py
@@ -13,8 +13,8 @@
 """Doublings of the avoidance time that are computed; its upper limit comes sooner."""
 
 
-class ServerWitness(Protocol):
-    """Takes what the packets of callers show of single servers."""
+class ServerObserver(Protocol):
+    """Is notified of what the packets of callers show of single servers."""
 
     def note_answer(
         self, token: int, route_address: bytes, answer_s: float, now: float
@@ -75,7 +75,7 @@
         has_unreported_change: Whether the load caused here changed; the reader clears
             it.
         peer_load: Load that other VMs of the zone report.
-        witness: Takes what packets show of single servers, None if nobody wants it.
+        observer: Is notified of what packets show of single servers, None for nobody.
     """
 
     def __init__(self, settings: TokenRouterSettings) -> None:
@@ -83,7 +83,7 @@
         self.local_loads: dict[int, LocalLoad] = {}
         self.changed_tokens: set[int] = set()
         self.has_unreported_change = False
-        self.witness: ServerWitness | None = None
+        self.observer: ServerObserver | None = None
         self.peer_load = PeerLoad(settings, self.changed_tokens)
 
     def local_load_at(self, token: int) -> LocalLoad:
--- a/libs/tokens/src/kumquatmux_tokens/server_pace.py
+++ b/libs/tokens/src/kumquatmux_tokens/server_pace.py
@@ -121,8 +121,7 @@
             self.start(entry, "unanswered", now)
             return
         paced.faulted_at = now
-        for _ in range(min(faults, paced.limit.bit_length())):
-            paced.limit = max(paced.limit // 2, 1)
+        paced.limit = max(paced.limit >> faults, 1)
 
     def remove_expired(self, now: float) -> None:
         """Lift the limits that are due, and remove servers that have ended."""
