Estimate the times of uploads in a module of its own

The wait within the target, the latest start, the window of an upload, whether it has sent all, and the number after a SYN (also in load.py) were each written twice or more. record_upload_packet was called for all packets. The comment on bulk_bytes spoke of a first second; the code takes the rate over a flow's life.

Behaviour is the same.

--- a/libs/tokens/src/kumquatmux_tokens/bulk_routes.py
+++ b/libs/tokens/src/kumquatmux_tokens/bulk_routes.py
@@ -9,6 +9,7 @@
 from kumquatmux_tokens.settings import LinkSettings
 
 LEAST_DURATION_S = 1.0
+"""Least life of a flow in its rate, so that a single packet is no high rate."""
 
 
 class FlowSizes:
@@ -17,7 +18,8 @@
     Attributes:
         mean_bytes: Bytes of data of a flow.
         mean_rate: Bytes a second of a flow's life, which counts as one second at least.
-            Flows that carry little at a time for long are no bulk data.
+            A mean of bytes alone would take long flows with little traffic for bulk
+            data.
     """
 
     __slots__ = ("mean_bytes", "mean_rate")
--- a/libs/tokens/src/kumquatmux_tokens/link_account.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_account.py
@@ -33,7 +33,7 @@
         largest_payload: Length of its longest packet's data.
         is_tail_seen: Whether its latest new data came in a packet that was not filled,
             as the last one of an upload is.
-        is_ended: Whether its caller has closed it.
+        is_closed: Whether its caller has closed it.
         started_at: Time of its start.
         last_packet_at: Time of its latest packet.
         departures: Time at which each of the latest data packets leaves the modelled
@@ -44,7 +44,7 @@
         "departures",
         "expected_bytes",
         "first_sequence_number",
-        "is_ended",
+        "is_closed",
         "is_tail_seen",
         "largest_payload",
         "last_packet_at",
@@ -60,7 +60,7 @@
         self.next_sequence_number = first_sequence_number
         self.largest_payload = 0
         self.is_tail_seen = False
-        self.is_ended = False
+        self.is_closed = False
         self.started_at = now
         self.last_packet_at = now
         self.departures: dict[int, float] = {}
@@ -70,15 +70,20 @@
         """Bytes of data that were seen."""
         return (self.next_sequence_number - self.first_sequence_number) % SEQUENCE_SPACE
 
+    @property
+    def has_sent_all(self) -> bool:
+        """Whether no more data is expected of it."""
+        return self.is_closed or self.is_tail_seen
+
 
 class LinkAccount:
     """Model of the link's queue, and the claims of uploads on it.
 
     Attributes:
         uploads: Uploads under way by flow key.
-        busy_until: Time at which the link has carried all that is known of.
+        busy_until: Time at which the link has carried all that was sent.
         held_bytes: Bytes of upload packets that wait on the VM to go out.
-        peak_queue_s: Longest queue of late, in seconds.
+        peak_queue_s: Longest recent queue, in seconds.
         peak_at: Time of that queue.
         received_bytes: Bytes of all packets and messages, as if received, since the
             latest measurement of the rate.
@@ -110,11 +115,11 @@
             size: Its bytes.
             now: Current time in monotonic seconds.
         """
-        self.record_upload_packet(size)
+        self.record_arrival(size)
         self.record_sent(size, now)
 
-    def record_upload_packet(self, size: float) -> None:
-        """Record a packet of an upload that has come in and may go out later."""
+    def record_arrival(self, size: float) -> None:
+        """Record a packet that has come in, by its bytes; it may go out later."""
         self.received_bytes += size
 
     def record_sent(self, size: float, now: float) -> None:
@@ -133,11 +138,11 @@
         self.record_received(size / SENT_BYTES_PER_RECEIVED_BYTE, now)
 
     def queue_s(self, now: float) -> float:
-        """Return the seconds that the link needs for all that is known to wait."""
+        """Return the seconds that the link needs for all that waits here or in it."""
         return max(self.drained_at(), now) - now
 
     def drained_at(self) -> float:
-        """Return when the link has carried all that is known to wait here or in it."""
+        """Return when the link has carried all that waits here or in it."""
         held_bytes = SENT_BYTES_PER_RECEIVED_BYTE * self.held_bytes
         return self.busy_until + held_bytes / self.settings.bytes_per_s
 
@@ -183,7 +188,7 @@
 
     def end_upload(self, upload: Upload) -> None:
         """End the claim of an upload that its caller has closed."""
-        upload.is_ended = True
+        upload.is_closed = True
         self.has_ended_claim = True
 
     def remaining_bytes(self, upload: Upload) -> float:
@@ -192,14 +197,18 @@
         One that has sent more than others do may have half a window in flight, until
         its last packet is seen.
         """
-        if upload.is_ended or upload.is_tail_seen:
+        if upload.has_sent_all:
             return 0.0
         left = upload.expected_bytes - upload.seen_bytes
         return max(left, self.settings.window_bytes / 2)
 
     def in_flight(self, upload: Upload) -> float:
         """Return the bytes of data that an upload may have in flight."""
-        return min(self.remaining_bytes(upload), self.settings.window_bytes)
+        return self.window_of(self.remaining_bytes(upload))
+
+    def window_of(self, data_bytes: float) -> float:
+        """Return the bytes that a caller with some data to send has in flight."""
+        return min(data_bytes, self.settings.window_bytes)
 
     def live_uploads(self, now: float) -> list[Upload]:
         """Return the uploads that are still expected to send data."""
@@ -207,8 +216,7 @@
         return [
             upload
             for upload in self.uploads.values()
-            if upload.last_packet_at + idle_s > now
-            and not (upload.is_ended or upload.is_tail_seen)
+            if upload.last_packet_at + idle_s > now and not upload.has_sent_all
         ]
 
     def has_room(self, expected_bytes: float, now: float) -> bool:
@@ -219,7 +227,7 @@
         live = self.live_uploads(now)
         if not live:
             return True
-        window = min(expected_bytes, self.settings.window_bytes)
+        window = self.window_of(expected_bytes)
         return self.carry_s(window + sum(map(self.in_flight, live))) <= pass_s
 
     def room_at(self, now: float) -> float:
--- a/libs/tokens/src/kumquatmux_tokens/link_admission.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_admission.py
@@ -4,32 +4,28 @@
 
 import math
 from random import Random
-from typing import NamedTuple
 
 from kumquatmux_core.decisions import log as log_decision
 from kumquatmux_core.identity import VmId
 from kumquatmux_tokens.bulk_routes import BulkRoutes
 from kumquatmux_tokens.link_account import LinkAccount, Upload
-from kumquatmux_tokens.link_occupancy import LinkOccupancy, ZoneOccupancy
+from kumquatmux_tokens.link_occupancy import (
+    MILLISECONDS_PER_S,
+    LinkOccupancy,
+    ZoneOccupancy,
+)
 from kumquatmux_tokens.load import LoadTracker
 from kumquatmux_tokens.packets import Decision, Drop, HoldForLink, PacketHeader, Reset
 from kumquatmux_tokens.placers import CoordinatorSelector
 from kumquatmux_tokens.recent import RecentPlacements
 from kumquatmux_tokens.routes import Route
-from kumquatmux_tokens.sequences import SEQUENCE_SPACE, is_near
+from kumquatmux_tokens.sequences import is_near, number_after_syn
 from kumquatmux_tokens.settings import TokenRouterSettings
+from kumquatmux_tokens.upload_estimates import Estimate, UploadEstimator
 from kumquatmux_tokens.upload_queue import RefusedCallers, UploadQueue, WaitingUpload
 from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer
 
 SYN_RESET_SEQUENCE_NUMBER = 0
-MILLISECONDS_PER_S = 1000
-
-
-class Estimate(NamedTuple):
-    """When an upload would start and finish, in seconds from now."""
-
-    start_s: float
-    finish_s: float
 
 
 class LinkAdmission:
@@ -37,11 +33,12 @@
 
     Attributes:
         is_enabled: Whether the link's capacity is known.
-        is_active: Whether there are routes of bulk data besides.
+        is_active: Whether it is enabled and there are routes of bulk data.
         account: The link's queue and the uploads under way.
         bulk: Routes of bulk data.
         queue: SYN packets that wait for the link.
         refused: Callers that were refused.
+        estimator: Estimates when uploads that wait would start and finish.
         zone: Queues of the other VMs of the zone.
     """
 
@@ -68,6 +65,7 @@
         self.queue = UploadQueue(settings.link)
         self.refused = RefusedCallers(settings.link)
         self.zone = ZoneOccupancy(settings.link, random)
+        self.estimator = UploadEstimator(settings, self.account, self.queue)
 
     @property
     def can_admit(self) -> bool:
@@ -99,7 +97,7 @@
             return None
         is_bulk = header.route_address in self.bulk.by_address and not header.is_syn
         if is_bulk and header.payload_length:
-            self.account.record_upload_packet(size)
+            self.account.record_arrival(size)
             return self._record_data(header, now)
         self.account.record_received(size, now)
         if is_bulk:
@@ -174,7 +172,7 @@
         report = LinkOccupancy(
             self.router_settings.vm,
             len(self.queue.by_flow),
-            round(self._wait_of_another_s(now) * MILLISECONDS_PER_S),
+            round(self.estimator.wait_of_another_s(now) * MILLISECONDS_PER_S),
         )
         return [(vm, report) for vm in self.zone.receivers(self._other_vms())]
 
@@ -212,7 +210,7 @@
             self.account.end_upload(upload)
 
     def _known_upload(self, header: PacketHeader) -> Upload | None:
-        """Return the upload of a packet, not one that had the same port before."""
+        """Return the upload of a packet, not an earlier one from the same port."""
         upload = self.account.uploads.get(header.flow_key)
         if upload is None:
             return None
@@ -221,13 +219,12 @@
 
     def _start(self, header: PacketHeader, expected_bytes: float, now: float) -> Upload:
         """Start the claim of the upload that a SYN packet opens."""
-        first_sequence_number = (header.sequence_number + 1) % SEQUENCE_SPACE
         return self.account.start_upload(
-            header.flow_key, expected_bytes, first_sequence_number, now
+            header.flow_key, expected_bytes, number_after_syn(header), now
         )
 
     def _start_unknown(self, header: PacketHeader, now: float) -> Upload:
-        """Start the claim of an upload that goes on here, by one of its packets."""
+        """Start the claim of an upload that opened elsewhere, by one of its packets."""
         self.queue.remove(header.flow_key)
         flow = self.load_tracker.flow_of_packet(header)
         upload = self.account.start_upload(
@@ -240,10 +237,9 @@
         return upload
 
     def _is_admitted(self, header: PacketHeader, now: float) -> bool:
-        """Return whether a SYN packet's upload has a claim, which lasts on if so."""
+        """Return whether a SYN packet's upload has a claim; extend the claim if so."""
         upload = self.account.uploads.get(header.flow_key)
-        first_sequence_number = (header.sequence_number + 1) % SEQUENCE_SPACE
-        if upload is None or upload.first_sequence_number != first_sequence_number:
+        if upload is None or upload.first_sequence_number != number_after_syn(header):
             return False
         upload.last_packet_at = now
         return True
@@ -263,7 +259,7 @@
         expected_bytes = self.bulk.expected_bytes(header.route_address)
         given_up_at = self.syn_buffer.given_up_at(header, now)
         sent_at = given_up_at - self.router_settings.caller_syn_timeout_s
-        longest_wait_s = route.target_latency_s - self.account.upload_s(expected_bytes)
+        longest_wait_s = self.estimator.wait_within_target_s(route, expected_bytes)
         return WaitingUpload(
             header.flow_key,
             expected_bytes,
@@ -280,13 +276,12 @@
     ) -> Decision:
         """Return the decision for a SYN packet that the link has no room for now."""
         self.queue.remove_expired(now)
-        estimate = self._estimate(waiting, now)
-        is_carried = self._is_in_time(waiting, route, estimate, now)
-        if self.queue.is_full or not is_carried:
-            if not header.retransmission_count and self._have_others_room(
-                waiting, route, now
-            ):
-                return self._refuse(waiting, estimate, now)
+        estimate = self.estimator.estimate(waiting, now)
+        is_carried = self.estimator.is_in_time(waiting, route, estimate, now)
+        has_place = is_carried and not self.queue.is_full
+        is_first = not header.retransmission_count
+        if not has_place and is_first and self._have_others_room(waiting, route, now):
+            return self._refuse(waiting, estimate, now)
         if self.queue.is_full:
             return Drop("link-full")
         self.queue.add(waiting)
@@ -312,53 +307,17 @@
         )
         return Reset(SYN_RESET_SEQUENCE_NUMBER, "link-full")
 
-    def _estimate(self, waiting: WaitingUpload, now: float) -> Estimate:
-        """Return when an upload would start and finish, if it waited."""
-        account = self.account
-        live = account.live_uploads(now)
-        before = sum(map(account.remaining_bytes, live))
-        before += self.queue.bytes_before(waiting, now)
-        window = min(waiting.expected_bytes, self.settings.window_bytes)
-        # Uploads may overlap as far as their windows pass the link in time.
-        overlap = self.settings.window_pass_s / account.carry_s(1.0) - window
-        ahead = max(before - max(overlap, 0.0), 0.0)
-        queue_s = account.queue_s(now)
-        return Estimate(
-            queue_s + account.upload_s(ahead),
-            queue_s + account.upload_s(before + waiting.expected_bytes),
-        )
-
-    def _is_in_time(
-        self, waiting: WaitingUpload, route: Route, estimate: Estimate, now: float
-    ) -> bool:
-        """Return whether an upload is carried while its caller waits for that."""
-        timeout_s = self.router_settings.caller_syn_timeout_s
-        waited_s = now + timeout_s - waiting.expires_at
-        latest_start_s = timeout_s - self.settings.opening_reserve_s
-        starts_in_time = waited_s + estimate.start_s <= latest_start_s
-        return starts_in_time and waited_s + estimate.finish_s <= route.target_latency_s
-
     def _have_others_room(
         self, waiting: WaitingUpload, route: Route, now: float
     ) -> bool:
         """Return whether a refused caller is likely to be carried by another VM."""
-        upload_s = self.account.upload_s(waiting.expected_bytes)
-        timeout_s = self.router_settings.caller_syn_timeout_s
         longest_wait_s = min(
-            route.target_latency_s - upload_s,
-            timeout_s - self.settings.opening_reserve_s,
+            self.estimator.wait_within_target_s(route, waiting.expected_bytes),
+            self.estimator.latest_start_s,
         )
         share = self.zone.room_share(self._other_vms(), max(longest_wait_s, 0.0), now)
         return share > 0 and share >= self.settings.room_share
 
-    def _wait_of_another_s(self, now: float) -> float:
-        """Return the seconds that one more upload would wait here."""
-        if not self.queue.by_flow:
-            return 0.0
-        longest = max(self.queue.by_flow.values(), key=lambda one: one.priority)
-        another = longest._replace(was_refused=False, latest_start_at=math.inf)
-        return self._estimate(another, now).start_s
-
     def _learn(self, header: PacketHeader, now: float) -> None:
         """Learn what the flows of a route send from one that its caller closes."""
         flow = self.load_tracker.flow_of_packet(header)
--- a/libs/tokens/src/kumquatmux_tokens/link_occupancy.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_occupancy.py
@@ -1,4 +1,4 @@
-"""Reports of the queues for their links, between the entry VMs of a zone."""
+"""Reports between entry VMs of a zone, of the uploads that wait for their links."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 from kumquatmux_core.identity import VmId
 from kumquatmux_tokens.settings import LinkSettings
 
+MILLISECONDS_PER_S = 1000
+
 
 class LinkOccupancy(NamedTuple):
     """Report of the queue for a VM's link.
@@ -55,7 +57,8 @@
     def record(self, report: LinkOccupancy, now: float) -> None:
         """Record the report of another VM."""
         expires_at = now + self.settings.occupancy_validity_s
-        self.by_vm[report.sender] = HeardOccupancy(report.wait_ms / 1000, expires_at)
+        wait_s = report.wait_ms / MILLISECONDS_PER_S
+        self.by_vm[report.sender] = HeardOccupancy(wait_s, expires_at)
 
     def room_share(
         self, others: list[VmId], longest_wait_s: float, now: float
--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -24,7 +24,13 @@
     shows_opening,
 )
 from kumquatmux_tokens.packets import PacketHeader
-from kumquatmux_tokens.sequences import SEQUENCE_SPACE, follows_syn, is_after, is_near
+from kumquatmux_tokens.sequences import (
+    SEQUENCE_SPACE,
+    follows_syn,
+    is_after,
+    is_near,
+    number_after_syn,
+)
 from kumquatmux_tokens.server_loads import ServerLoads
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import ServerLoad
@@ -202,7 +208,7 @@
             self._remove(header.flow_key)
             if not self._has_room():
                 return
-            first_sequence_number = (header.sequence_number + 1) % SEQUENCE_SPACE
+            first_sequence_number = number_after_syn(header)
             flow = self.flows[header.flow_key] = Flow(token, first_sequence_number, now)
             self.count_open_flow(token, 1)
         elif flow.token != token:
--- a/libs/tokens/src/kumquatmux_tokens/messages.py
+++ b/libs/tokens/src/kumquatmux_tokens/messages.py
@@ -21,7 +21,7 @@
     0x060A: FlowAnswer,
     0x060B: FlowOpened,
     0x060C: FlowNewsQuestion,
-    0x060F: PaceReport,
     0x060D: LinkOccupancy,
+    0x060F: PaceReport,
 }
 """Message types by message kind, for the codec registry of a channel."""
--- a/libs/tokens/src/kumquatmux_tokens/sequences.py
+++ b/libs/tokens/src/kumquatmux_tokens/sequences.py
@@ -31,6 +31,11 @@
     return offset % SEQUENCE_SPACE <= 2 * FLOW_REACH_BYTES
 
 
+def number_after_syn(syn: PacketHeader) -> int:
+    """Return the sequence number of the first byte of data after a SYN."""
+    return (syn.sequence_number + 1) % SEQUENCE_SPACE
+
+
 def follows_syn(sequence_number: int, syn: PacketHeader) -> bool:
     """Return whether a packet's sequence number is one of the flow that a SYN opens."""
     offset = (sequence_number - syn.sequence_number) % SEQUENCE_SPACE
--- a/libs/tokens/src/kumquatmux_tokens/settings.py
+++ b/libs/tokens/src/kumquatmux_tokens/settings.py
@@ -31,8 +31,8 @@
             ended.
         default_upload_bytes: Expected size of an upload of a route that none has
             finished on yet.
-        bulk_bytes: Mean bytes that the flows of a route send in their first second from
-            which the route counts as one of bulk data.
+        bulk_bytes: Mean bytes a second of the flows of a route above which it counts as
+            one of bulk data; a flow counts for one second at least.
         size_smoothing: Weight of one flow in the moving averages of a route.
         queue_limit: Limit of SYN packets that wait for the link.
         opening_reserve_s: Seconds of a caller's wait that are kept for the placement
@@ -49,9 +49,9 @@
         answer_s: Seconds after a data packet has left within which a copy of it is not
             forwarded, as the answer may still be on its way.
         paced_queue_s: Length of the link's queue in seconds up to which upload data is
-            sent; further data waits on the VM, so that other packets pass it. As long
-            as the loop may be late without leaving the link idle; infinity holds none.
-        held_limit: Limit of packets that wait so.
+            sent; further data waits on the VM, so that other packets pass it. A loop
+            that is late by no more leaves the link busy; infinity holds no data back.
+        held_limit: Limit of packets that wait on the VM.
         departures_limit: Limit of packets of an upload whose departure is remembered.
         rate_smoothing: Weight of one interval in the average rate of other traffic.
         least_upload_share: Share of the link that uploads are taken to get at least.
--- a/libs/tokens/tests/test_link_account.py
+++ b/libs/tokens/tests/test_link_account.py
@@ -73,7 +73,7 @@
 
 def record_packet(account, pacer, upload, header, now):
     """Return what goes out, None if the packet was dropped."""
-    account.record_upload_packet(PACKET_BYTES)
+    account.record_arrival(PACKET_BYTES)
     if account.record_data(upload, header, now):
         return None
     sequence = header.sequence_number
