Name what the registrar's seats and orders do

Cause: Seats.look moved seats, and its view was one function with a nested condition; Orders.answers emptied what it returned. The opening of link_day.py had a line broken midway.

Change: Seats.replace_gone with two functions of one condition each, Orders.pop_answers, comments. Behaviour is the same.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -191,7 +191,7 @@
         if self._is_due("save", SAVE_S, now):
             self._save()
         if self._is_due("seats", SEATS_S, now):
-            self.seats.look(now)
+            self.seats.replace_gone(now)
         if now >= self.started_at + UNFOUNDED_S:
             self._tell_unfounded(now)
         return self._effects(now)
@@ -276,7 +276,7 @@
         self.orders.handle(call, token, now)
 
     def _effects(self, now: float) -> list[Sent | Answered]:
-        self.out.extend(self.orders.answers())
+        self.out.extend(self.orders.pop_answers())
         newest = self.agreed.documents.newest
         evacuations = self.agreed.documents.evacuations
         self.publisher.is_current = self.agreed.is_current()
--- a/libs/daemons/src/kumquatmux_daemons/registrar/orders.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/orders.py
@@ -40,7 +40,7 @@
         seats: Tells whether enough control VMs vote.
         is_stopping: Whether this VM sends callers elsewhere.
         evacuation_calls: Calls about evacuations that the replica has yet to answer.
-        out: Answers that were not fetched yet.
+        out: Answers that were not returned yet.
     """
 
     def __init__(self, vm: VmId, agreed: Agreed, seats: Seats) -> None:
@@ -53,8 +53,8 @@
         # Bound once: binding such a method anew costs more than most of its calls.
         self.handle = self._handle
 
-    def answers(self) -> list[Answered]:
-        """Return the answers since the last time, also to what the replica replied."""
+    def pop_answers(self) -> list[Answered]:
+        """Remove and return the answers, also to what the replica replied."""
         replies = self.agreed.replies
         self.agreed.replies = []
         for reply in replies:
@@ -97,7 +97,7 @@
     def _(self, call: OrderEvacuation, token: str, now: float) -> None:
         """Have an order agreed, also one that repeats the state here.
 
-        That state may be old, so it acknowledges nothing by itself.
+        That state may be outdated, so it is no reason to acknowledge the order.
         """
         if not self.agreed.is_leader or self.is_stopping:
             self._elsewhere(token)
--- a/libs/daemons/src/kumquatmux_daemons/registrar/seats.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/seats.py
@@ -58,8 +58,8 @@
         led_s = now - self.leads_since if self.leads_since is not None else 0.0
         return led_s >= SEATING_S or self.agreed.answering_voters() >= required
 
-    def look(self, now: float) -> None:
-        """Move a seat whose VM is gone, if this VM leads."""
+    def replace_gone(self, now: float) -> None:
+        """Give the seats of VMs that are gone to others, if this VM leads."""
         if not self.agreed.is_leader:
             self.leads_since = None
             return
@@ -75,23 +75,28 @@
     def _view(
         self, wanted: tuple[VmId, ...], leads_since: float, now: float
     ) -> VoterSelectionView:
-        limit = now - self.follower.settings.silent_s
-        sources = self.follower.sources
         mine = VoterCandidate(self.settings.vm, self.settings.zone)
-        others = [
+        return VoterSelectionView(
+            self.settings.vm,
+            wanted,
+            (mine, *self._other_candidates(now)),
+            frozenset(vm for vm in wanted if self._is_gone(vm, leads_since, now)),
+            required_voter_count(self.settings.losses),
+        )
+
+    def _other_candidates(self, now: float) -> list[VoterCandidate]:
+        """Return the other control VMs that were heard of recently."""
+        limit = now - self.follower.settings.silent_s
+        return [
             VoterCandidate(vm, source.zone)
-            for vm, source in sources.items()
+            for vm, source in self.follower.sources.items()
             if source.heard_at > limit
         ]
-        gone = frozenset(
-            vm
-            for vm in wanted
-            if vm != self.settings.vm
-            and max(
-                sources[vm].heard_at if vm in sources else self.started_at,
-                leads_since,
-            )
-            < now - GONE_S
-        )
-        size = required_voter_count(self.settings.losses)
-        return VoterSelectionView(self.settings.vm, wanted, (mine, *others), gone, size)
+
+    def _is_gone(self, vm: VmId, leads_since: float, now: float) -> bool:
+        """Return whether a voter was silent for too long while this VM led."""
+        if vm == self.settings.vm:
+            return False
+        source = self.follower.sources.get(vm)
+        heard_at = source.heard_at if source is not None else self.started_at
+        return max(heard_at, leads_since) < now - GONE_S
--- a/libs/daemons/tests/link_day.py
+++ b/libs/daemons/tests/link_day.py
@@ -1,11 +1,11 @@
 """Callers, servers and links around the cores of the entry VMs of a zone, for tests.
 
 The link of a VM limits what it sends, by a short queue that the core cannot see; what
-does not fit into it is lost. Callers
-behave as docs/design/overload.md says: they retransmit a SYN after 0.2 and 0.6 s and
-give up after 1.4 s; they keep 16 packets in flight and retransmit all of them after
-0.2 s, doubling to 1.6 s. A caller whose flow did not open may try again by way of any
-VM. Answers go from the servers to the callers directly.
+does not fit into it is lost. Callers behave as docs/design/overload.md says: they
+retransmit a SYN after 0.2 and 0.6 s and give up after 1.4 s; they keep 16 packets in
+flight and retransmit all of them after 0.2 s, doubling to 1.6 s. A caller whose flow
+did not open may try again by way of any VM. Answers go from the servers to the callers
+directly.
 """
 
 from __future__ import annotations
