--- a/libs/tokens/src/kumquatmux_tokens/load.py
+++ b/libs/tokens/src/kumquatmux_tokens/load.py
@@ -24,7 +24,13 @@
     shows_opening,
 )
 from kumquatmux_tokens.packets import PacketHeader
-from kumquatmux_tokens.sequences import SEQUENCE_SPACE, follows_syn, is_after, is_near
+from kumquatmux_tokens.sequences import (
+    SEQUENCE_SPACE,
+    follows_syn,
+    is_after,
+    is_near,
+    number_after_syn,
+)
 from kumquatmux_tokens.server_loads import ServerLoads
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.work import ServerLoad
@@ -202,7 +208,7 @@
             self._remove(header.flow_key)
             if not self._has_room():
                 return
-            first_sequence_number = (header.sequence_number + 1) % SEQUENCE_SPACE
+            first_sequence_number = number_after_syn(header)
             flow = self.flows[header.flow_key] = Flow(token, first_sequence_number, now)
             self.count_open_flow(token, 1)
         elif flow.token != token:
@@ -237,8 +243,8 @@
             return False
         flow.counted_copy = copy
         self.avoid(load, now)
-        if self.witness is not None:
-            self.witness.note_unanswered(flow.token, now)
+        if self.observer is not None:
+            self.observer.note_unanswered(flow.token, now)
         return True
 
     def record_packet(self, header: PacketHeader, token: int, now: float) -> None:
@@ -289,8 +295,8 @@
             if flow.request_sent_at is not None:
                 answer_s = now - flow.request_sent_at
                 self.latencies.record("first-answer", answer_s)
-                if self.witness is not None:
-                    self.witness.note_answer(
+                if self.observer is not None:
+                    self.observer.note_answer(
                         flow.token, header.route_address, answer_s, now
                     )
             self.end_request(flow)
@@ -338,8 +344,8 @@
                 and not flow.is_established
                 and flow.syn_forwarded_at == forwarded_at
             ):
-                if self.witness is not None and flow.request_sent_at is not None:
-                    self.witness.note_unopened(flow.token, now)
+                if self.observer is not None and flow.request_sent_at is not None:
+                    self.observer.note_unopened(flow.token, now)
                 self.end_request(flow)
 
     def remove_expired(self, now: float) -> None:
