Count on the link what is sent, not what comes in

The gauge link_use counted copies of upload data that were dropped, and a data packet that was held for its token or dropped was taken for sent (found by a read of the change; by reading only). One method, record_sent, now counts what goes out, of uploads and of the rest; two methods for arrivals go. Nothing else decides by these figures but the estimate of other traffic, which is as before. Tests of the link's modules and of the token entry's link pass.

--- a/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/token_entry/core.py
@@ -227,7 +227,6 @@
     ) -> list[Effect]:
         """Have a data packet of an upload go out when the link is free."""
         if len(effects) != 1 or not isinstance(effects[0], Datagram):
-            self.router.link.account.record_sent(size, now)
             return effects
         held: HeldPacket[Effect] = HeldPacket(
             effects[0], size, upload, head.sequence_number
--- a/libs/tokens/src/kumquatmux_tokens/link_account.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_account.py
@@ -85,8 +85,8 @@
         held_bytes: Bytes of upload packets that wait on the VM to go out.
         peak_queue_s: Longest recent queue, in seconds.
         peak_at: Time of that queue.
-        received_bytes: Bytes of all packets and messages, as if received, since the
-            latest measurement of the rate.
+        sent_bytes: Bytes that the link was given since the latest measurement of the
+            rate.
         upload_bytes: Part of them that belongs to uploads.
         other_bytes_per_s: Rate of the other part on the link, on average.
         use: Share of the link that was used before the latest measurement.
@@ -101,30 +101,25 @@
         self.held_bytes = 0
         self.peak_queue_s = 0.0
         self.peak_at = -math.inf
-        self.received_bytes = 0.0
+        self.sent_bytes = 0.0
         self.upload_bytes = 0.0
         self.other_bytes_per_s = 0.0
         self.use = 0.0
         self.measured_at = now
         self.has_ended_claim = False
 
-    def record_received(self, size: float, now: float) -> None:
-        """Record a packet that has come in and goes out again.
+    def record_sent(self, size: float, now: float, *, is_upload: bool = False) -> None:
+        """Record that a packet goes out.
 
         Args:
-            size: Its bytes.
+            size: Its bytes when it was received.
             now: Current time in monotonic seconds.
+            is_upload: Whether it carries data of an upload.
         """
-        self.record_arrival(size)
-        self.record_sent(size, now)
-
-    def record_arrival(self, size: float) -> None:
-        """Record a packet that has come in, by its bytes; it may go out later."""
-        self.received_bytes += size
-
-    def record_sent(self, size: float, now: float) -> None:
-        """Record that a packet goes out that had a size when it was received."""
         sent_bytes = SENT_BYTES_PER_RECEIVED_BYTE * size
+        self.sent_bytes += sent_bytes
+        if is_upload:
+            self.upload_bytes += sent_bytes
         start_at = max(self.busy_until, now)
         self.busy_until = start_at + sent_bytes / self.settings.bytes_per_s
         queue_s = self.busy_until - now
@@ -135,7 +130,7 @@
 
     def record_messages(self, size: float, now: float) -> None:
         """Record messages that this VM sent."""
-        self.record_received(size / SENT_BYTES_PER_RECEIVED_BYTE, now)
+        self.record_sent(size / SENT_BYTES_PER_RECEIVED_BYTE, now)
 
     def queue_s(self, now: float) -> float:
         """Return the seconds that the link needs for all that waits here or in it."""
@@ -173,7 +168,6 @@
             be on its way, so that it should not be forwarded.
         """
         size = header.payload_length
-        self.upload_bytes += size * RECEIVED_BYTES_PER_DATA_BYTE
         end = (header.sequence_number + size) % SEQUENCE_SPACE
         if not is_after(end, upload.next_sequence_number):
             return self._is_waiting_copy(upload, header, now)
@@ -258,13 +252,11 @@
         elapsed_s = now - self.measured_at
         if elapsed_s <= 0:
             return
-        used = self.received_bytes * SENT_BYTES_PER_RECEIVED_BYTE / elapsed_s
-        self.use = used / self.settings.bytes_per_s
-        other = max(self.received_bytes - self.upload_bytes, 0.0)
-        rate = other * SENT_BYTES_PER_RECEIVED_BYTE / elapsed_s
+        self.use = self.sent_bytes / elapsed_s / self.settings.bytes_per_s
+        rate = (self.sent_bytes - self.upload_bytes) / elapsed_s
         smoothing = self.settings.rate_smoothing
         self.other_bytes_per_s += smoothing * (rate - self.other_bytes_per_s)
-        self.received_bytes = self.upload_bytes = 0.0
+        self.sent_bytes = self.upload_bytes = 0.0
         self.measured_at = now
 
     def remove_expired(self, now: float) -> None:
--- a/libs/tokens/src/kumquatmux_tokens/link_admission.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_admission.py
@@ -97,9 +97,8 @@
             return None
         is_bulk = header.route_address in self.bulk.by_address and not header.is_syn
         if is_bulk and header.payload_length:
-            self.account.record_arrival(size)
             return self._record_data(header, now)
-        self.account.record_received(size, now)
+        self.account.record_sent(size, now)
         if is_bulk:
             self._record_acknowledgment(header, now)
         return None
--- a/libs/tokens/src/kumquatmux_tokens/link_pacer.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_pacer.py
@@ -106,6 +106,6 @@
     def _release_one(self, now: float) -> Packet:
         _, held = heapq.heappop(self.held)
         self.account.held_bytes -= held.size
-        self.account.record_sent(held.size, now)
+        self.account.record_sent(held.size, now, is_upload=True)
         held.upload.departures[held.sequence_number] = self.account.busy_until
         return held.packet
--- a/libs/tokens/tests/test_link_account.py
+++ b/libs/tokens/tests/test_link_account.py
@@ -28,7 +28,7 @@
 def test_the_queue_drains_at_the_links_rate():
     account = LinkAccount(SETTINGS, 0.0)
     for _ in range(10):
-        account.record_received(PACKET_BYTES, 5.0)
+        account.record_sent(PACKET_BYTES, 5.0)
     sent_bytes = PACKET_BYTES * 10 * SENT_BYTES_PER_RECEIVED_BYTE
     assert account.queue_s(5.0) == pytest.approx(sent_bytes / 125_000)
     assert account.queue_s(5.05) == pytest.approx(sent_bytes / 125_000 - 0.05)
@@ -73,7 +73,6 @@
 
 def record_packet(account, pacer, upload, header, now):
     """Return what goes out, None if the packet was dropped."""
-    account.record_arrival(PACKET_BYTES)
     if account.record_data(upload, header, now):
         return None
     sequence = header.sequence_number
@@ -117,7 +116,7 @@
     account = LinkAccount(SETTINGS, 0.0)
     assert not account.explains(0.03, 1.0)
     for _ in range(10):
-        account.record_received(PACKET_BYTES, 1.0)
+        account.record_sent(PACKET_BYTES, 1.0)
     assert account.explains(0.03, 1.0)
     assert not account.explains(0.2, 1.0)
     # It was that long while the answer was due, though it has drained since.
@@ -138,7 +137,7 @@
     account = LinkAccount(SETTINGS, 0.0)
     alone_s = account.upload_s(40_000.0)
     for second in range(1, 30):
-        account.record_received(62_500, second)
+        account.record_sent(62_500, second)
         account.measure_rate(second)
     half = 1 - SENT_BYTES_PER_RECEIVED_BYTE / 2
     assert account.upload_s(40_000.0) == pytest.approx(alone_s / half, rel=0.01)
@@ -156,7 +155,7 @@
     account = LinkAccount(SETTINGS, 0.0)
     for number, start in enumerate(sorted(starts)):
         account.start_upload(bytes([number]) * 12, 40_000.0, 101, start)
-    account.record_received(size, 2.0)
+    account.record_sent(size, 2.0)
     for _ in range(len(starts) + 1):
         if account.has_room(40_000.0, now):
             return
--- a/libs/tokens/tests/test_link_admission.py
+++ b/libs/tokens/tests/test_link_admission.py
@@ -314,7 +314,7 @@
     for is_link_late in (False, True):
         router = make_router()
         if is_link_late:
-            router.link.account.record_received(60_000, 10.0)
+            router.link.account.record_sent(60_000, 10.0)
         router.coordinators.record_request("e2", b"k", 10.0)
         assert not router.coordinators.is_pending(b"k", 10.04)
         assert ("e2" in router.coordinators.backoffs) != is_link_late
@@ -326,7 +326,7 @@
         router = make_router()
         router.route_packet(make_syn(1, route=FEEDS), 10.0)
         if is_link_late:
-            router.link.account.record_received(60_000, 10.0)
+            router.link.account.record_sent(60_000, 10.0)
         router.route_packet(make_syn(1, copy=1, route=FEEDS), 10.2)
         (load,) = router.load_tracker.local_loads.values()
         assert load.unanswered_syns == (0 if is_link_late else 1)
