Refuse an evacuation beyond the limit before it is in the log

An order that is acknowledged has to be in force.

Change: the leader refuses an order for a further zone from 64 on before it proposes it; what is in the log is in force. The outcome too-many-zones of the line evacuation-applied goes. The test that no more zones are applied is replaced by one that an order in the log is in force; the refusal at the limit keeps its test.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/orders.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/orders.py
@@ -39,7 +39,8 @@
         agreed: The replicated state.
         seats: Tells whether enough control VMs vote.
         is_stopping: Whether this VM sends callers elsewhere.
-        evacuation_calls: Calls about evacuations that the replica has yet to answer.
+        evacuation_reads: Tokens of the reads of evacuations that the replica has yet to
+            answer.
         out: Answers that were not returned yet.
     """
 
@@ -48,7 +49,7 @@
         self.agreed = agreed
         self.seats = seats
         self.is_stopping = False
-        self.evacuation_calls: dict[str, OrderEvacuation | ReadEvacuations] = {}
+        self.evacuation_reads: set[str] = set()
         self.out: list[Answered] = []
         # Bound once: binding such a method anew costs more than most of its calls.
         self.handle = self._handle
@@ -99,21 +100,23 @@
 
         That state may be outdated, so it is no reason to acknowledge the order.
         """
+        order = EvacuationOrder(call.zone, call.is_evacuated)
         if not self.agreed.is_leader or self.is_stopping:
             self._elsewhere(token)
         elif self._is_first_order and not self.seats.are_filled(now):
             self.put_off(token, "too-few-voters")
+        elif not self.agreed.documents.evacuations.has_room_for(order):
+            problem = Problem("too-many-zones", "lift another evacuation first")
+            self._answer(token, Answer(Outcome.REFUSED, problem=problem))
         else:
-            self.evacuation_calls[token] = call
-            entry = entry_of_order(EvacuationOrder(call.zone, call.is_evacuated))
-            self.agreed.give(Propose(entry, token), now)
+            self.agreed.give(Propose(entry_of_order(order), token), now)
 
     @_handle.register
     def _(self, call: ReadEvacuations, token: str, now: float) -> None:
         if not self.agreed.is_leader:
             self._elsewhere(token)
         else:
-            self.evacuation_calls[token] = call
+            self.evacuation_reads.add(token)
             self.agreed.give(Read(token), now)
 
     @property
@@ -122,34 +125,21 @@
         return not documents.newest.number and not documents.evacuations.revision
 
     def _answer_reply(self, reply: Reply) -> None:
-        call = self.evacuation_calls.pop(reply.token, None)
+        is_evacuation_read = reply.token in self.evacuation_reads
+        self.evacuation_reads.discard(reply.token)
         if reply.token.startswith("seats"):
             log_decision("seats-answered", outcome=reply.outcome, problem=reply.problem)
         elif reply.outcome == ReplicaOutcome.COMMITTED:
-            self._answer_committed(reply.token, call)
+            self._answer(reply.token, Answer(Outcome.DONE))
         elif reply.outcome != ReplicaOutcome.CURRENT:
             answer = Answer(Outcome.UNAVAILABLE, problem=reply.problem)
             self._answer(reply.token, answer)
-        elif call is not None:
+        elif is_evacuation_read:
             evacuations = self.agreed.documents.evacuations
             self._answer(reply.token, Answer(Outcome.DONE, evacuations=evacuations))
         else:
             self._answer_read(reply.token)
 
-    def _answer_committed(
-        self, token: str, call: OrderEvacuation | ReadEvacuations | None
-    ) -> None:
-        if isinstance(call, OrderEvacuation) and self._has_no_room_for(call):
-            problem = Problem("too-many-zones", "lift another evacuation first")
-            self._answer(token, Answer(Outcome.REFUSED, problem=problem))
-        else:
-            self._answer(token, Answer(Outcome.DONE))
-
-    def _has_no_room_for(self, call: OrderEvacuation) -> bool:
-        evacuations = self.agreed.documents.evacuations
-        is_missing = call.zone not in evacuations.zones
-        return call.is_evacuated and is_missing and evacuations.is_full
-
     def _answer_read(self, token: str) -> None:
         newest = self.agreed.documents.newest
         if newest.number:
--- a/libs/settings/src/kumquatmux_settings/documents.py
+++ b/libs/settings/src/kumquatmux_settings/documents.py
@@ -114,13 +114,12 @@
         former = self.evacuations
         self.evacuations = former.after(order)
         is_changed = self.evacuations != former
-        repeats = "repeated" if former.obeys(order) else "too-many-zones"
         log_decision(
             "evacuation-applied",
             zone=order.zone,
             evacuated=order.is_evacuated,
             revision=self.evacuations.revision,
-            outcome="in-force" if is_changed else repeats,
+            outcome="in-force" if is_changed else "repeated",
         )
         return is_changed
 
--- a/libs/settings/src/kumquatmux_settings/evacuations.py
+++ b/libs/settings/src/kumquatmux_settings/evacuations.py
@@ -16,7 +16,11 @@
 """First value of an order's entry; that of a document's is its number."""
 
 MAX_ZONES = 64
-"""Most zones evacuated at once, as each answer to an entry VM names them all."""
+"""Number of evacuated zones from which no order for a further one is accepted.
+
+Each answer to an entry VM names them all. Orders accepted at the same moment may exceed
+it by a few.
+"""
 
 ZONE_BYTES = 255
 """Longest name of a zone."""
@@ -45,17 +49,21 @@
     revision: int = 0
     zones: tuple[ZoneName, ...] = ()
 
-    @property
-    def is_full(self) -> bool:
-        """Whether no further zone can be evacuated."""
-        return len(self.zones) >= MAX_ZONES
+    def has_room_for(self, order: EvacuationOrder) -> bool:
+        """Return whether an order may be proposed, as it evacuates no zone too many.
+
+        One that is in the log already counts whatever the number, as it is acknowledged
+        once it is committed.
+        """
+        is_further = order.is_evacuated and not self.obeys(order)
+        return not is_further or len(self.zones) < MAX_ZONES
 
     def after(self, order: EvacuationOrder) -> Evacuations:
         """Return the evacuated zones after an order, the same if it changes nothing."""
         zones = set(self.zones)
-        if order.is_evacuated and not self.is_full:
+        if order.is_evacuated:
             zones.add(order.zone)
-        elif not order.is_evacuated:
+        else:
             zones.discard(order.zone)
         if len(zones) == len(self.zones):
             return self
--- a/libs/settings/tests/test_evacuations.py
+++ b/libs/settings/tests/test_evacuations.py
@@ -14,7 +14,11 @@
     read_entry,
     read_snapshot,
 )
-from kumquatmux_settings.evacuations import EvacuationOrder, entry_of_order
+from kumquatmux_settings.evacuations import (
+    MAX_ZONES,
+    EvacuationOrder,
+    entry_of_order,
+)
 
 zones = st.sampled_from(["a", "b", "c", "cnx-ä"])
 orders = st.builds(EvacuationOrder, zones, st.booleans()).map(entry_of_order)
@@ -81,3 +85,18 @@
     assert read_entry(data).is_error()
     assert log.apply(data) is False
     assert log.evacuations == (1, ("b",))
+
+
+# Guards against an order that was accepted, and is acknowledged once it is committed,
+# but not in force, as others that were accepted with it filled the list.
+def test_an_order_in_the_log_is_in_force_whatever_the_number_of_zones():
+    log = applied(
+        *(
+            entry_of_order(EvacuationOrder(f"z-{number}", True))
+            for number in range(MAX_ZONES + 1)
+        )
+    )
+    assert len(log.evacuations.zones) == MAX_ZONES + 1
+    assert not log.evacuations.has_room_for(EvacuationOrder("z", True))
+    assert log.evacuations.has_room_for(EvacuationOrder("z-0", True))
+    assert log.evacuations.has_room_for(EvacuationOrder("z-0", False))
