Tell entry VMs of evacuated zones no later than of the document

What callers would have seen: after a loss of power everywhere, an entry VM was ready, and sent openings to an evacuated zone, until the next push or poll.

Cause: a control VM that starts pushed the new document before it set the evacuated zones, and the second push waited its turn.

Change: both are set before one push.

--- a/libs/daemons/src/kumquatmux_daemons/registrar/core.py
+++ b/libs/daemons/src/kumquatmux_daemons/registrar/core.py
@@ -280,12 +280,15 @@
         newest = self.agreed.documents.newest
         evacuations = self.agreed.documents.evacuations
         self.publisher.is_current = self.agreed.is_current()
-        if newest.number > self.publisher.document.number:
+        is_evacuation_new = evacuations.revision > self.publisher.evacuations.revision
+        if is_evacuation_new:
+            self.publisher.evacuations = EvacuatedZones(*evacuations)
+        is_document_new = newest.number > self.publisher.document.number
+        if is_document_new:
             self.publisher.document = Document(newest.number, newest.content)
             self._name_services(self.services_of(newest.content))
-            self._push(now)
-        if evacuations.revision > self.publisher.evacuations.revision:
-            self.publisher.evacuations = EvacuatedZones(*evacuations)
+        # One push for both: an entry VM is ready once it has a document.
+        if is_evacuation_new or is_document_new:
             self._push(now)
         sends = self.agreed.sends
         self.out.extend(Sent(one.vm, one.message) for one in sends)
