--- a/libs/lab/tests/test_evacuation_faults.py
+++ b/libs/lab/tests/test_evacuation_faults.py
@@ -179,8 +179,8 @@
     assert len(states) == 1
 
 
-# Guards against an acknowledged order that is gone after a loss of power everywhere, and
-# an entry VM that takes packets before it knows the evacuated zones.
+# Guards against an acknowledged order that is gone after a loss of power everywhere,
+# and an entry VM that takes packets before it knows the evacuated zones.
 @pytest.mark.parametrize("seed", range(8))
 @pytest.mark.parametrize("stopped", ["all", "entry VMs"])
 def test_an_acknowledged_order_is_in_force_as_soon_as_vms_that_stopped_are_ready(
