Have the soak evacuate zones and read each change back

Each run evacuates a zone without servers three times, beside the steps of its seed, reverses that, and reads both back at any control VM: what was acknowledged has to be in force.

--- a/tests/programs/disturbances.py
+++ b/tests/programs/disturbances.py
@@ -12,7 +12,7 @@
 
 import odd
 from programs import METRICS_PORT, Programs
-from standins.calls import ANSWER_S, call_once
+from standins.calls import ANSWER_S, Answer, call_any, call_once
 from standins.deployment import Machine
 from standins.operator import Operator
 from traffic import SERVERS_IN_USE, Traffic
@@ -28,6 +28,10 @@
 """Seconds after a start in which a signal may come."""
 
 CHANGES_A_STEP = 4
+EVACUATIONS_PATH = "/v1/evacuations"
+ORDER_S = 10.0
+"""Seconds for which an order about a zone is sent again until it is answered."""
+
 DOCUMENT = "kumquatmux_document"
 SERVERS = "kumquatmux_servers"
 """Metrics of the manifest and the servers that a VM knows."""
@@ -40,6 +44,7 @@
         faults: How many steps of each kind were carried out.
         violations: What was answered in a way that it must not be.
         odd_settings_paths: Settings files that are odd just now, by another lane.
+        evacuated_zones: How many zones have been evacuated.
     """
 
     def __init__(
@@ -53,6 +58,7 @@
         self.violations: list[str] = []
         self.has_lost_disk = False
         self.odd_settings_paths: set[Path] = set()
+        self.evacuated_zones = 0
         self.sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sender.bind((programs.ip(240), 0))
         self.sender.setblocking(False)
@@ -71,6 +77,7 @@
             "idle-connections": self.idle_connections,
             "held-port": self.held_port,
             "damaged-file": self.damaged_file,
+            "evacuations": self.evacuations,
         }
 
     async def run(self, names: list[str]) -> None:
@@ -208,6 +215,31 @@
         for _ in range(CHANGES_A_STEP):
             await self.traffic.change_manifest(self.operator)
 
+    async def evacuations(self) -> None:
+        """Evacuate a zone without servers and reverse that; read each change back.
+
+        No other step orders anything about the zone, so what was acknowledged last
+        holds. No random number is drawn: the other steps of a seed stay the same.
+        """
+        self.evacuated_zones += 1
+        zone = f"without-servers-{self.evacuated_zones}"
+        for method in ("POST", "DELETE"):
+            answer = await self._call_any(method, f"{EVACUATIONS_PATH}/{zone}")
+            if answer.status != 200:
+                if 400 <= answer.status < 500:
+                    self.violations.append(f"{method} {zone} refused: {answer.body!r}")
+                return
+            read = await self._call_any("GET", EVACUATIONS_PATH)
+            if read.status != 200:
+                return
+            is_evacuated = zone in json.loads(read.body)["zones"]
+            if is_evacuated != (method == "POST"):
+                self.violations.append(f"{method} {zone} acknowledged, not in force")
+
+    async def _call_any(self, method: str, path: str) -> Answer:
+        addresses = self.programs.control_addresses
+        return await call_any(addresses, method, path, b"", ORDER_S)
+
     async def replace_server(self) -> None:
         """End a server and start another one at its address."""
         await self.traffic.replace_server(self.random)
--- a/tests/programs/soak.py
+++ b/tests/programs/soak.py
@@ -29,6 +29,9 @@
 LANES = 2
 """Series of steps that run at the same time."""
 
+EVACUATIONS = 3
+"""Evacuations of a zone in each run, beside the steps of its seed."""
+
 KINDS = (
     "odd-calls",
     "odd-calls",
@@ -94,7 +97,9 @@
     try:
         await traffic.give_first_manifest(operator)
         await traffic.start()
-        await asyncio.gather(*(disturber.run(lane) for lane in lanes or plan(seed)))
+        # The evacuations are no part of the plan, so that a seed keeps its other steps.
+        played = lanes or [*plan(seed), ["evacuations"] * EVACUATIONS]
+        await asyncio.gather(*(disturber.run(lane) for lane in played))
         await traffic.check_end(operator)
     finally:
         ends = programs.own_ends()
--- a/tests/programs/test_programs.py
+++ b/tests/programs/test_programs.py
@@ -16,7 +16,9 @@
 
 # Guards against programs that end by themselves (rule FAULT), or keep others from being
 # served, because of one kind of thing that comes from outside.
-@pytest.mark.parametrize("kind", sorted({*soak.KINDS, "usurping-reports"}))
+@pytest.mark.parametrize(
+    "kind", sorted({*soak.KINDS, "evacuations", "usurping-reports"})
+)
 def test_programs_bear(kind, tmp_path):
     assert play(SEED, tmp_path, [[kind] * 3]).violations == ()
 
