Know the zone's other entry VMs in one place, and the reset of a SYN once

The list of the other entry VMs was built in three places, for load reports and for reports of a link's queue each time they were due; CoordinatorSelector keeps it where the entry VMs are set, and has_other_vms follows from it. link_admission.py had written syn_router.py's constant for the sequence number of a refusal again; both take it from packets.py.

--- a/libs/tokens/src/kumquatmux_tokens/link_admission.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_admission.py
@@ -15,7 +15,14 @@
     ZoneOccupancy,
 )
 from kumquatmux_tokens.load import LoadTracker
-from kumquatmux_tokens.packets import Decision, Drop, HoldForLink, PacketHeader, Reset
+from kumquatmux_tokens.packets import (
+    SYN_RESET_SEQUENCE_NUMBER,
+    Decision,
+    Drop,
+    HoldForLink,
+    PacketHeader,
+    Reset,
+)
 from kumquatmux_tokens.placers import CoordinatorSelector
 from kumquatmux_tokens.recent import RecentPlacements
 from kumquatmux_tokens.routes import Route
@@ -25,8 +32,6 @@
 from kumquatmux_tokens.upload_queue import RefusedUploads, UploadQueue, WaitingUpload
 from kumquatmux_tokens.waiting import BufferedPacket, SynBuffer
 
-SYN_RESET_SEQUENCE_NUMBER = 0
-
 
 class LinkAdmission:
     """Decides which uploads may use the link, and in which order.
@@ -178,7 +183,7 @@
             len(self.queue.by_flow),
             round(self.estimator.wait_of_another_s(now) * MILLISECONDS_PER_S),
         )
-        return [(vm, report) for vm in self.zone.receivers(self._other_vms())]
+        return [(vm, report) for vm in self.zone.receivers(self.coordinators.other_vms)]
 
     def explains(self, silence_s: float, now: float) -> bool:
         """Return whether the link's queue explains that an answer has not come."""
@@ -321,7 +326,9 @@
             self.estimator.wait_within_target_s(route, waiting.expected_bytes),
             self.estimator.latest_start_s,
         )
-        share = self.zone.room_share(self._other_vms(), max(longest_wait_s, 0.0), now)
+        share = self.zone.room_share(
+            self.coordinators.other_vms, max(longest_wait_s, 0.0), now
+        )
         return share > 0 and share >= self.settings.room_share
 
     def _learn(self, header: PacketHeader, now: float) -> None:
@@ -333,7 +340,3 @@
 
     def _note_bulk_routes(self) -> None:
         self.is_active = bool(self.bulk.by_address)
-
-    def _other_vms(self) -> list[VmId]:
-        own_vm = self.router_settings.vm
-        return [vm for vm in self.coordinators.entry_vms if vm != own_vm]
--- a/libs/tokens/src/kumquatmux_tokens/link_occupancy.py
+++ b/libs/tokens/src/kumquatmux_tokens/link_occupancy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from random import Random
 from typing import NamedTuple
 
@@ -61,7 +62,7 @@
         self.by_vm[report.sender] = HeardOccupancy(wait_s, expires_at)
 
     def room_share(
-        self, others: list[VmId], longest_wait_s: float, now: float
+        self, others: Sequence[VmId], longest_wait_s: float, now: float
     ) -> float:
         """Return the share of other VMs where an upload waits no longer than a time.
 
@@ -83,7 +84,7 @@
         self.sent_at = now
         self.has_reported_queue = has_queue
 
-    def receivers(self, others: list[VmId]) -> list[VmId]:
+    def receivers(self, others: Sequence[VmId]) -> Sequence[VmId]:
         """Return the VMs that a report goes to."""
         limit = self.settings.occupancy_vms
         return others if len(others) <= limit else self.random.sample(others, limit)
--- a/libs/tokens/src/kumquatmux_tokens/load_reporter.py
+++ b/libs/tokens/src/kumquatmux_tokens/load_reporter.py
@@ -87,7 +87,7 @@
         server is reported only to the placement coordinator of its service.
         """
         loads = self.load_tracker.reportable_loads(now)
-        receivers = [vm for vm in self.coordinators.entry_vms if vm != self.settings.vm]
+        receivers = self.coordinators.other_vms
         if len(receivers) < self.settings.full_reporting_max_vms:
             return {vm: loads for vm in receivers}
         by_receiver: dict[VmId, list[ServerLoad]] = {}
--- a/libs/tokens/src/kumquatmux_tokens/lost_flows.py
+++ b/libs/tokens/src/kumquatmux_tokens/lost_flows.py
@@ -319,7 +319,7 @@
 
     def some_vms(self) -> tuple[VmId, ...]:
         """Return the other entry VMs of the zone, some of them if there are many."""
-        others = [vm for vm in self.coordinators.entry_vms if vm != self.settings.vm]
+        others = self.coordinators.other_vms
         count = min(len(others), self.settings.flow_inquiry_vms)
         return tuple(self.random.sample(others, count))
 
--- a/libs/tokens/src/kumquatmux_tokens/packets.py
+++ b/libs/tokens/src/kumquatmux_tokens/packets.py
@@ -9,6 +9,9 @@
 from kumquatmux_tokens.placers import PlaceQuestion
 from kumquatmux_tokens.questions import FlowQuestion
 
+SYN_RESET_SEQUENCE_NUMBER = 0
+"""Sequence number of a reset that refuses a SYN packet; any is valid then."""
+
 
 class PacketHeader(NamedTuple):
     """Header fields of a caller's packet that routing needs.
--- a/libs/tokens/src/kumquatmux_tokens/placers.py
+++ b/libs/tokens/src/kumquatmux_tokens/placers.py
@@ -110,7 +110,7 @@
 
     Attributes:
         entry_vms: Entry VMs of the zone, including this one.
-        has_other_vms: Whether the zone has entry VMs beside this one.
+        other_vms: Those beside this one.
         rankings: Entry VMs in order of preference, by service.
         backoffs: Backoff from each VM that left placement requests unanswered.
         pending_requests: Unanswered placement requests by flow key.
@@ -124,18 +124,23 @@
     def __init__(self, settings: TokenRouterSettings) -> None:
         self.settings = settings
         self.entry_vms: tuple[VmId, ...] = ()
-        self.has_other_vms = False
+        self.other_vms: tuple[VmId, ...] = ()
         self.rankings: dict[ServiceName, list[VmId]] = {}
         self.backoffs: dict[VmId, Backoff] = {}
         self.pending_requests: dict[bytes, PendingRequest] = {}
         self.timed_out: dict[bytes, float] = {}
         self.is_explained: Callable[[float, float], bool] = _is_never_explained
 
+    @property
+    def has_other_vms(self) -> bool:
+        """Whether the zone has entry VMs beside this one."""
+        return bool(self.other_vms)
+
     def set_entry_vms(self, entry_vms: tuple[VmId, ...]) -> None:
         """Set the entry VMs of the zone."""
         if entry_vms != self.entry_vms:
             self.entry_vms = entry_vms
-            self.has_other_vms = any(vm != self.settings.vm for vm in entry_vms)
+            self.other_vms = tuple(vm for vm in entry_vms if vm != self.settings.vm)
             self.rankings.clear()
 
     def coordinator_for(self, service: ServiceName, now: float) -> VmId:
--- a/libs/tokens/src/kumquatmux_tokens/syn_router.py
+++ b/libs/tokens/src/kumquatmux_tokens/syn_router.py
@@ -12,6 +12,7 @@
 from kumquatmux_tokens.flow import Flow
 from kumquatmux_tokens.load_reporter import LoadReporter
 from kumquatmux_tokens.packets import (
+    SYN_RESET_SEQUENCE_NUMBER,
     Decision,
     Drop,
     Forward,
@@ -36,8 +37,6 @@
 from kumquatmux_tokens.settings import TokenRouterSettings
 from kumquatmux_tokens.waiting import BufferedPacket, QueueWait, SynBuffer
 
-SYN_RESET_SEQUENCE_NUMBER = 0
-
 NO_SLOT = HoldForServer("no-slot")
 """Decision for a SYN packet that finds all servers of its service full."""
 
