--- a/review/standins2/feeds.py
+++ b/review/standins2/feeds.py
@@ -19,21 +19,25 @@
     Attributes:
         flows: Number of callers, each with one flow.
         loss: Share of the servers' packets to the callers that is lost.
-        lossy_s: Seconds for which they are, in which all callers begin.
-        pause_s: Seconds between the answer to a caller's first request and its next.
+        lossy_s: Seconds for which they are.
+        begin_s: Seconds in which the callers begin, one after the other.
+        pauses_s: Seconds between the answer to a request of a caller and its next one.
         idle_timeout_ms: The manifest's ``idle-timeout-ms``.
-        rolled: Entry VMs that are stopped and started in turn after that.
+        rolled: Entry VMs that are stopped and started in turn.
+        roll_at_s: Seconds from the first caller's beginning to the first of the stops.
         roll_gap_s: Seconds between two of these stops.
         moved_share: Share of the callers that have moved to another zone when they send
-            their next request.
+            their last request.
     """
 
     flows: int = 300
     loss: float = 0.025
     lossy_s: float = 5.5
-    pause_s: float = 11.5
+    begin_s: float = 5.5
+    pauses_s: tuple[float, ...] = (11.5,)
     idle_timeout_ms: int = 15_000
     rolled: tuple[str, ...] = ()
+    roll_at_s: float = 6.0
     roll_gap_s: float = 1.3
     moved_share: float = 0.0
 
@@ -81,17 +85,19 @@
         if first != "answered":
             results[caller.ip] = f"first request {first}"
             return
-        await asyncio.sleep(plan.pause_s)
-        if site.random.random() < plan.moved_share:
-            caller.zone = "lpg-a"
-            site.note(f"caller {caller.ip} has moved to {caller.zone}")
-        results[caller.ip] = await caller.ask()
+        for number, pause_s in enumerate(plan.pauses_s, 1):
+            await asyncio.sleep(pause_s)
+            is_last = number == len(plan.pauses_s)
+            if is_last and site.random.random() < plan.moved_share:
+                caller.zone = "lpg-a"
+                site.note(f"caller {caller.ip} has moved to {caller.zone}")
+            results[caller.ip] = await caller.ask()
 
     uses = [
-        asyncio.ensure_future(use(caller, plan.lossy_s * number / plan.flows))
+        asyncio.ensure_future(use(caller, plan.begin_s * number / plan.flows))
         for number, caller in enumerate(callers)
     ]
-    await asyncio.sleep(began + plan.lossy_s + 0.5 - time.monotonic())
+    await asyncio.sleep(began + plan.roll_at_s - time.monotonic())
     for name in plan.rolled:
         machine = next(one for one in site.machines if one.name == name)
         site.spawn(site.terminate(machine))
--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -732,10 +732,13 @@
         """Send a packet to its caller, unless it is lost on the way."""
         if self.drops_out(packet) or self.socket.transport is None:
             return
-        target = (packet.dst, self.site.ports["packets"])
-        asyncio.get_running_loop().call_later(
-            TO_CALLER_S, self.socket.transport.sendto, packet.encode(), target
-        )
+        asyncio.get_running_loop().call_later(TO_CALLER_S, self.deliver, packet)
+
+    def deliver(self, packet: Packet) -> None:
+        """Hand a packet to its caller, unless this lifetime has ended meanwhile."""
+        if self.is_up and self.socket.transport is not None:
+            target = (packet.dst, self.site.ports["packets"])
+            self.socket.transport.sendto(packet.encode(), target)
 
 
 class Caller:
