--- a/review/7/run.py
+++ b/review/7/run.py
@@ -18,7 +18,7 @@
 
 async def case(site: standin.Site) -> list[str]:
     """Play the case; return a sentence for each break of the rule."""
-    plan = feeds.Plan(pause_s=28.0, idle_timeout_ms=40_000)
+    plan = feeds.Plan(pauses_s=(28.0,), idle_timeout_ms=40_000)
     if not standin.has_trouble():
         plan = plan._replace(loss=0.0)
     return await feeds.play(site, plan)
