--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -14,6 +14,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import struct
@@ -475,6 +476,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        shutil.rmtree(self.work, ignore_errors=True)
 
 
 class CannotRunError(Exception):
